--- /dev/null
+++ b/cmd/dunlinsail/main.go
@@ -0,0 +1,33 @@
+// Command dunlinsail is a sidecar that balances its application's requests over endpoints.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"cottonpond/internal/sidecar"
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	// One core is ours, and other sidecars may share it.
+	runtime.GOMAXPROCS(1)
+	config, err := sidecar.ReadConfig(os.Getenv)
+	if err != nil {
+		log.Error("cannot start", "error", err)
+		os.Exit(2)
+	}
+	// The collector works harder well before the limit at which we would be killed.
+	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	if err := sidecar.Run(stop, config, log); err != nil {
+		log.Error("ended", "error", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,238 @@
+// Package sidecar runs the decisions of package balancer on real sockets.
+//
+// One goroutine (loop.go) owns the balancer. Clients come in through server.go, attempts and probes
+// go out through upstream.go, the list of endpoints comes from discovery.go, and sidecar.go starts
+// and stops them. No file but loop.go calls the balancer, and loop.go does no I/O.
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"cottonpond/balancer"
+	"cottonpond/internal/wire"
+)
+
+// Config is what a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int // file descriptors
+	Known     List
+
+	Settings  balancer.Settings
+	Classes   []string // names as on the sockets, in the order of the settings
+	Tenants   []string
+	Zones     []string
+	Kinds     []string
+	Fields    []string      // of a load report
+	OnAnswers bool          // answers carry load reports, too
+	KeepAlive time.Duration // an endpoint closes a connection idle for so long
+}
+
+// ConfigError names the part of the configuration that makes no sense.
+type ConfigError struct {
+	Key string
+	Err error
+}
+
+// Error names the key.
+func (e *ConfigError) Error() string { return "configuration: " + e.Key + ": " + e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+const (
+	defaultMemoryMB  = 192
+	defaultSockets   = 1024
+	leastSockets     = 64
+	defaultKeepAlive = 15 * time.Second
+)
+
+// ReadConfig reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
+func ReadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, &ConfigError{"ROUTER_CONFIG", errors.New("is not set")}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &ConfigError{"ROUTER_CONFIG", err}
+	}
+	c, err := parseConfig(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var file struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB *int `json:"memory_mb"`
+			Sockets  *int `json:"sockets"`
+		} `json:"limits"`
+		Known    *List           `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		key := "file"
+		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
+			key = wrong.Field
+		}
+		return nil, &ConfigError{key, err}
+	}
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	for name, to := range map[string]*string{
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, &ConfigError{a.key, err}
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, &ConfigError{"seed", err}
+	}
+	if v := file.Limits.MemoryMB; v != nil {
+		if c.MemoryMB = *v; *v < 1 {
+			return nil, &ConfigError{"limits.memory_mb", fmt.Errorf("%d is not positive", *v)}
+		}
+	}
+	if v := file.Limits.Sockets; v != nil {
+		if c.Sockets = *v; *v < leastSockets {
+			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, leastSockets)}
+		}
+	}
+	if file.Known != nil {
+		c.Known = *file.Known
+	}
+	if len(file.Settings) == 0 {
+		return nil, &ConfigError{"settings", errors.New("is missing")}
+	}
+	return c, c.settings(file.Settings)
+}
+
+// settings reads the settings twice: as the simulator's text, by the parser that the simulator's host uses,
+// and for the names that only the sockets need.
+func (c *Config) settings(raw json.RawMessage) error {
+	var names struct {
+		Areas   []string `json:"areas"`
+		Skus    []string `json:"skus"`
+		Classes []struct {
+			Name string `json:"name"`
+		} `json:"classes"`
+		Tenants []struct {
+			Name string `json:"name"`
+		} `json:"tenants"`
+		Reporting struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"reporting"`
+		Limits struct {
+			KeepAlive balancer.Micros `json:"keepalive"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(raw, &names); err != nil {
+		key := "settings"
+		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
+			key += "." + wrong.Field
+		}
+		return &ConfigError{key, err}
+	}
+	text, err := settingsText(raw)
+	if err != nil {
+		return &ConfigError{"settings", err}
+	}
+	if c.Settings, err = wire.ParseSettings(text); err == nil {
+		err = c.Settings.Validate()
+	}
+	if err != nil {
+		return &ConfigError{"settings", err} // its message names the key
+	}
+	c.Zones, c.Kinds = names.Areas, names.Skus
+	for i, class := range names.Classes {
+		if class.Name == "" {
+			return &ConfigError{fmt.Sprintf("settings.classes.%d.name", i), errors.New("is missing")}
+		}
+		c.Classes = append(c.Classes, class.Name)
+	}
+	for _, t := range names.Tenants {
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	if names.Reporting.How != "none" {
+		c.Fields = names.Reporting.Fields
+	}
+	c.OnAnswers = names.Reporting.How == "answers"
+	if c.KeepAlive = time.Duration(names.Limits.KeepAlive) * time.Microsecond; c.KeepAlive <= 0 {
+		c.KeepAlive = defaultKeepAlive
+	}
+	return nil
+}
+
+// settingsText turns the settings object into the simulator's text: a line path=value for each plain value.
+func settingsText(raw json.RawMessage) (string, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil && err != io.EOF {
+		return "", err
+	}
+	var lines []string
+	var walk func(path string, v any)
+	walk = func(path string, v any) {
+		switch v := v.(type) {
+		case map[string]any:
+			for k, item := range v {
+				walk(path+"."+k, item)
+			}
+		case []any:
+			if len(v) > 0 {
+				if _, object := v[0].(map[string]any); object {
+					lines = append(lines, fmt.Sprintf("%s.count=%d", path[1:], len(v)))
+					for i, item := range v {
+						walk(path+"."+strconv.Itoa(i), item)
+					}
+					return
+				}
+			}
+			words := make([]string, len(v))
+			for i, item := range v {
+				words[i] = plain(item)
+			}
+			lines = append(lines, path[1:]+"="+strings.Join(words, ","))
+		case nil:
+		default:
+			lines = append(lines, path[1:]+"="+plain(v))
+		}
+	}
+	walk("", tree)
+	sort.Strings(lines)
+	return strings.Join(lines, "\n"), nil
+}
+
+// plain writes a value as the text form does, where commas and ends of lines separate.
+func plain(v any) string {
+	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_").Replace(fmt.Sprint(v))
+}
