Test the sidecar over loopback sockets; bound what an answer may take

Also: answers' heads are bounded, the loop no longer closes connections itself, and what reports to a loop that has ended is not left waiting.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// once holds one watch, for a balancer that asks for each.
+func (w *watcher) once(ctx context.Context) {
+	if _, err := w.watch(ctx); ctx.Err() == nil {
+		w.log.Warn("discovery watch ended", "error", err)
+	}
+}
+
 // watch holds one watch until it ends, and says whether it brought a list.
 func (w *watcher) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- /dev/null
+++ b/internal/sidecar/helper_test.go
@@ -0,0 +1,201 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// soon bounds every wait of these tests for something that must come.
+const soon = 5 * time.Second
+
+// settings is a small site without probes: a safe class, a keyed one and an unsafe one.
+const settings = `{"peers-total":1,"areas":["a","b"],"skus":["m1"],"discovery":"automatic",
+	"classes":[
+	{"name":"look","repeat":"pure","target":500000,"give-up":1000000,"credit":1.0},
+	{"name":"book","repeat":"token","group":"cell","window":400000,"target":500000,"give-up":1000000,"credit":5.0},
+	{"name":"pay","repeat":"side_effect","target":500000,"give-up":1000000,"credit":5.0}],
+	"contract":{"drain-grace":250000,"cold-from":0.2,"ramp-time":10000000,"fall-multiple":2.5,
+	"overload-for":2000000,"ask-within":10000000},
+	"limits":{"cancel":true,"probes":false,"second-copies":true,"retry-after":true,"most-tries":3,
+	"most-held":1000,"max-retry-after":400000,"dial-timeout":1000000,"keepalive":15000000},
+	"reporting":{"how":"probe","fields":["busy_reqs","served_ps","cpu_share"]},
+	"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
+
+// configure makes a configuration, with edits to the settings as pairs of old and new text.
+func configure(t *testing.T, discovery string, known []Instance, edits ...string) *Config {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+		"seed": "8c1f30d27a5be964", "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
+		"known":    List{Generation: 7, Reset: true, Instances: known},
+		"settings": json.RawMessage(strings.NewReplacer(edits...).Replace(settings))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := parseConfig(text, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func up(id, addr string) Instance {
+	return Instance{ID: id, Addr: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
+}
+
+// running is a sidecar under test.
+type running struct {
+	addr  string
+	stop  context.CancelFunc
+	ended chan error
+}
+
+// start runs a sidecar and waits until it is ready. It is stopped with the test.
+func start(t *testing.T, c *Config) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1)}
+	go func() {
+		s.ended <- serve(ctx, c, ln, quiet)
+		close(s.ended)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-s.ended
+	})
+	for end := time.Now().Add(soon); ; {
+		resp, err := http.Get("http://" + s.addr + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return s
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the sidecar does not become ready")
+		}
+	}
+}
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// nowhere is an address that refuses connections.
+func nowhere(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+// web starts an endpoint that speaks plain HTTP.
+func web(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// raw starts an endpoint whose connections are handled by hand, and closed when the handler returns.
+func raw(t *testing.T, handle func(c *net.TCPConn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c.(*net.TCPConn), bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// take reads a whole request.
+func take(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, err
+}
+
+// look makes a request of the safe class.
+func look(ms int) *http.Request { return request("GET", "/look/1", "look", ms, "") }
+
+func request(method, path, class string, ms int, body string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("X-Trace-Id", "9b1f03aa5c7e2d41")
+	r.Header.Set("X-Qos", class)
+	r.Header.Set("X-Customer", "acme")
+	r.Header.Set("X-Expires-In-Ms", fmt.Sprint(ms))
+	if class == "book" {
+		r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+	}
+	return r
+}
+
+// ask sends a request to the sidecar on a connection of its own and returns the whole answer.
+func (s *running) ask(t *testing.T, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return s.askOn(t, c, r)
+}
+
+func (s *running) askOn(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(soon))
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is not whole: %v", err)
+	}
+	return resp, string(body)
+}
+
+// within returns what comes on a channel, and fails the test if nothing does.
+func within[T any](t *testing.T, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(soon):
+		t.Fatalf("%s: nothing came", what)
+		panic("unreachable")
+	}
+}
+
+func contains(err error, text string) bool { return strings.Contains(err.Error(), text) }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -94,6 +94,7 @@
 	config   *Config
 	log      *slog.Logger
 	events   chan func(now balancer.Micros)
+	over     chan struct{} // closed once the loop takes no more events
 	balancer *balancer.Balancer
 	upstream *upstream
 	watch    func(on bool)
@@ -110,18 +111,24 @@
 
 func newLoop(c *Config, clk clock, up *upstream, watch func(bool), log *slog.Logger) (*loop, error) {
 	l := &loop{clock: clk, config: c, log: log, upstream: up, watch: watch,
-		events: make(chan func(balancer.Micros), 256),
-		calls:  map[uint64]*call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
+		events: make(chan func(balancer.Micros), 256), over: make(chan struct{}),
+		calls: map[uint64]*call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
 	var err error
 	l.balancer, err = balancer.New(c.Settings, c.Seed, l)
 	return l, err
 }
 
-// post hands an event to the loop.
-func (l *loop) post(event func(now balancer.Micros)) { l.events <- event }
+// post hands an event to the loop. After its end there is nobody to tell, and nobody must wait for it.
+func (l *loop) post(event func(now balancer.Micros)) {
+	select {
+	case l.events <- event:
+	case <-l.over:
+	}
+}
 
 // run handles events and alarms until ctx ends. Nothing in it waits for anything else.
 func (l *loop) run(ctx context.Context) {
+	defer close(l.over)
 	now := l.clock.now()
 	l.balancer.Start(now)
 	l.members(now, balancer.ListCached, l.config.Known)
@@ -250,7 +257,7 @@
 			l.byName[in.ID], l.byNumber[e.number] = e, e
 		}
 		if in.Addr != "" && in.Addr != e.addr {
-			l.upstream.drop(e.addr)
+			go l.upstream.drop(e.addr)
 			e.addr = in.Addr
 		}
 		l.setState(now, in.ID, e, state)
@@ -285,7 +292,7 @@
 	}
 	e.state = state
 	if state == balancer.Gone {
-		l.upstream.drop(e.addr)
+		go l.upstream.drop(e.addr)
 		delete(l.byName, name)
 		delete(l.byNumber, e.number)
 	}
--- /dev/null
+++ b/internal/sidecar/server_test.go
@@ -0,0 +1,436 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// What the client sent and what the endpoint answered go through unchanged.
+func TestServes(t *testing.T) {
+	type seen struct {
+		r    *http.Request
+		body string
+	}
+	got := make(chan seen, 64)
+	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got <- seen{r, string(b)}
+		w.Header().Set("Content-Type", "application/x-card")
+		w.Header().Set("Endpoint-Load-Metrics", "TEXT busy_reqs=1")
+		io.WriteString(w, "\x00card "+string(b))
+	})
+	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	for _, r := range []*http.Request{
+		look(480),
+		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
+		request("POST", "/book", "book", 480, strings.Repeat("b", bodyMost-6)), // the answer is as large as one may be
+		request("POST", "/pay?p=1", "pay", 480, ""),
+	} {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		resp, text := s.ask(t, r)
+		if resp.StatusCode != 200 || text != "\x00card "+string(body) || resp.Header.Get("Content-Type") != "application/x-card" {
+			t.Errorf("%s: %s, %d bytes, %v", r.RequestURI, resp.Status, len(text), resp.Header)
+			continue
+		}
+		at := <-got
+		if at.r.Method != r.Method || at.r.RequestURI != r.RequestURI || at.body != string(body) {
+			t.Errorf("sent %s %s, the endpoint got %s %s", r.Method, r.RequestURI, at.r.Method, at.r.RequestURI)
+		}
+		for _, h := range []string{"X-Trace-Id", "Idempotency-Key", "X-Customer"} {
+			if at.r.Header.Get(h) != r.Header.Get(h) {
+				t.Errorf("%s: sent %q, got %q", h, r.Header.Get(h), at.r.Header.Get(h))
+			}
+		}
+		// The endpoint is told how long this attempt is waited for, not what the client began with.
+		if ms, err := strconv.Atoi(at.r.Header.Get("X-Expires-In-Ms")); err != nil || ms >= 480 || ms < 1 {
+			t.Errorf("X-Expires-In-Ms %q, want under 480", at.r.Header.Get("X-Expires-In-Ms"))
+		}
+		if len(at.r.Header["Accept-Encoding"]) != 0 {
+			t.Error("compression was asked for")
+		}
+	}
+}
+
+// What makes no sense gets a plain 4xx, and no endpoint hears of it.
+func TestBadRequests(t *testing.T) {
+	var sent atomic.Int32
+	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	without := func(r *http.Request, header string) *http.Request {
+		r.Header.Del(header)
+		return r
+	}
+	with := func(r *http.Request, header, value string) *http.Request {
+		r.Header.Set(header, value)
+		return r
+	}
+	for _, tc := range []struct {
+		name string
+		r    *http.Request
+		want int
+	}{
+		{"unknown class", request("GET", "/sell", "sell", 400, ""), 404},
+		{"no class", without(request("GET", "/", "look", 400, ""), "X-Qos"), 404},
+		{"two classes", request("GET", "/look", "pay", 400, ""), 400},
+		{"no id", without(look(400), "X-Trace-Id"), 400},
+		{"keyed without key", without(request("POST", "/book", "book", 400, "x"), "Idempotency-Key"), 400},
+		{"wrong method", request("POST", "/look", "look", 400, "x"), 405},
+		{"time in words", with(look(400), "X-Expires-In-Ms", "soon"), 400},
+		{"negative time", look(-1), 400},
+		{"large body", request("POST", "/pay", "pay", 400, strings.Repeat("x", bodyMost+1)), 413},
+		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*headerMost)), 431},
+	} {
+		if resp, _ := s.ask(t, tc.r); resp.StatusCode != tc.want {
+			t.Errorf("%s: %s, want %d", tc.name, resp.Status, tc.want)
+		}
+	}
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "LOOK\r\n\r\n")
+	if line, _ := bufio.NewReader(c).ReadString('\n'); !strings.Contains(line, " 400 ") {
+		t.Errorf("no HTTP: %q", line)
+	}
+	if n := sent.Load(); n != 0 {
+		t.Errorf("%d attempts for bad requests", n)
+	}
+}
+
+// A refusal promises that the request never ran; where that is not known it is a failure, whatever the
+// endpoint said.
+func TestRefusedOrFailed(t *testing.T) {
+	never := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(503)
+	}
+	perhaps := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(503)
+	}
+	broken := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "9")
+		io.WriteString(w, "half")
+	}
+	for _, tc := range []struct {
+		name    string
+		h       http.HandlerFunc
+		class   string
+		refused bool
+	}{
+		{"turned away, unsafe", never, "pay", true},
+		{"turned away, keyed", never, "book", true},
+		{"turned away, safe", never, "look", true},
+		{"503, unsafe", perhaps, "pay", false},
+		{"503, keyed", perhaps, "book", false},
+		{"half a body, unsafe", broken, "pay", false},
+		{"no connection, unsafe", nil, "pay", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := nowhere(t)
+			if tc.h != nil {
+				addr = web(t, tc.h)
+			}
+			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+			method := "POST"
+			if tc.class == "look" {
+				method = "GET"
+			}
+			begun := time.Now()
+			resp, _ := s.ask(t, request(method, "/"+tc.class, tc.class, 900, ""))
+			if got := resp.StatusCode == 503; got != tc.refused || resp.StatusCode < 500 {
+				t.Errorf("%s, refused should be %v", resp.Status, tc.refused)
+			}
+			if advice, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); tc.refused != (err == nil && advice > 0) {
+				t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+			}
+			// What is given up is answered at once, not held back.
+			if took := time.Since(begun); took > 450*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+}
+
+// A request that may have run goes to no endpoint again if it is unsafe, and only to one of the same cell if
+// it is keyed.
+func TestResends(t *testing.T) {
+	for _, tc := range []struct {
+		class      string
+		cell       uint16 // of the second endpoint
+		mostCopies int32
+		served     bool
+	}{
+		{"pay", 1, 1, false},
+		{"book", 2, 1, false},
+		{"book", 1, 2, true},
+	} {
+		t.Run(fmt.Sprint(tc.class, tc.cell), func(t *testing.T) {
+			var copies atomic.Int32
+			// The first to be asked breaks its connection after reading the request.
+			endpoint := func() string {
+				return raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := take(r); err == nil && copies.Add(1) > 1 {
+						io.WriteString(c, okAnswer)
+					}
+				})
+			}
+			other := up("s-2", endpoint())
+			other.Cell = tc.cell
+			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", endpoint()), other}))
+			resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
+			if n := copies.Load(); n > tc.mostCopies {
+				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
+			}
+			if got := resp.StatusCode == 200; got != tc.served || resp.StatusCode == 503 {
+				t.Errorf("%s, served should be %v", resp.Status, tc.served)
+			}
+		})
+	}
+}
+
+// An endpoint that is mute must not keep the client waiting past its time, nor the connection open.
+func TestDeadline(t *testing.T) {
+	ended := make(chan error, 3)
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := take(r); err != nil {
+			return
+		}
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	for _, tc := range []struct {
+		class string
+		want  int
+	}{{"pay", 504}, {"book", 504}} {
+		begun := time.Now()
+		resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 200, "x"))
+		if took := time.Since(begun); took > 200*time.Millisecond || resp.StatusCode != tc.want {
+			t.Errorf("%s: %s after %v, want %d within 200 ms", tc.class, resp.Status, took, tc.want)
+		}
+		if err := within(t, ended, "end of the attempt"); err != io.EOF {
+			t.Errorf("%s: the endpoint read on: %v", tc.class, err)
+		}
+	}
+	// One whose time is up when it comes never ran.
+	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 0, "x")); resp.StatusCode != 503 {
+		t.Errorf("no time: %s, want 503", resp.Status)
+	}
+}
+
+// A client that goes takes its attempt with it.
+func TestClientGone(t *testing.T) {
+	taken, ended := make(chan struct{}), make(chan error, 1)
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		take(r)
+		close(taken)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
+	s := start(t, cfg)
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	within(t, taken, "attempt")
+	c.Close()
+	if err := within(t, ended, "end of the attempt"); err != io.EOF {
+		t.Errorf("the endpoint read on: %v", err)
+	}
+}
+
+// Requests over the settings' limit never ran.
+func TestMostOpen(t *testing.T) {
+	taken, release := make(chan struct{}, 2), make(chan struct{})
+	addr := web(t, func(http.ResponseWriter, *http.Request) {
+		taken <- struct{}{}
+		<-release
+	})
+	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
+	first := make(chan int)
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() {
+		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
+		first <- resp.StatusCode
+	}()
+	within(t, taken, "first attempt")
+	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
+		t.Errorf("second: %s, want 503", resp.Status)
+	}
+	close(release)
+	if code := within(t, first, "first answer"); code != 200 {
+		t.Errorf("first: %d, want 200", code)
+	}
+	if len(taken) != 0 {
+		t.Error("the second request was sent")
+	}
+}
+
+// With too many clients' connections open, requests are refused and their connections closed: were there no
+// descriptors left, they would wait unread until they are lost.
+func TestMostConnections(t *testing.T) {
+	addr := web(t, func(http.ResponseWriter, *http.Request) {})
+	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
+	cfg.Sockets = leastSockets
+	s := start(t, cfg)
+	var open []net.Conn
+	defer func() {
+		for _, c := range open {
+			c.Close()
+		}
+	}()
+	for i := range cfg.Sockets * 5 / 8 {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, c)
+		if i < cfg.Sockets/2 {
+			if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 || resp.Close && i < cfg.Sockets/2-2 {
+				t.Fatalf("connection %d: %s, close %v", i, resp.Status, resp.Close)
+			}
+		}
+	}
+	// An extra connection is counted once it is accepted, after those before it.
+	resp, _ := s.ask(t, look(900))
+	if resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("one more: %s, close %v, want 503 and close", resp.Status, resp.Close)
+	}
+}
+
+// After the order to stop clients still connect for a while. All that they send is answered, with
+// Connection: close, what was taken before is finished, and the sidecar ends without error.
+func TestStop(t *testing.T) {
+	taken, release := make(chan struct{}, 1), make(chan struct{})
+	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pay" {
+			taken <- struct{}{}
+			<-release
+		}
+	})
+	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	idle, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	if resp, _ := s.askOn(t, idle, look(900)); resp.Close {
+		t.Error("a connection was not kept")
+	}
+	var before sync.WaitGroup
+	defer before.Wait()
+	before.Go(func() {
+		if resp, _ := s.ask(t, request("POST", "/pay", "pay", 1000, "x")); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
+		}
+	})
+	within(t, taken, "attempt")
+	begun := time.Now()
+	s.stop()
+	idle.SetReadDeadline(time.Now().Add(soon))
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("idle connection: %v, want it closed", err)
+	}
+	for time.Since(begun) < 450*time.Millisecond {
+		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 || !resp.Close {
+			t.Fatalf("after the order: %s, close %v", resp.Status, resp.Close)
+		}
+	}
+	if resp, _ := s.ask(t, request("GET", "/-/ready", "", 900, "")); resp.StatusCode != 503 {
+		t.Errorf("ready: %s after the order to stop", resp.Status)
+	}
+	close(release)
+	if err := within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if took := time.Since(begun); took < 500*time.Millisecond {
+		t.Errorf("stopped accepting after %v", took)
+	}
+}
+
+// A dial can outlast the grace for a drain: then nothing may go out, and the request never ran.
+func TestDialOutlastsDrain(t *testing.T) {
+	var sent atomic.Int32
+	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	for _, tc := range []struct {
+		name string
+		wait bool // the grace goes by before the connection is up
+		want int
+	}{{"within the grace", false, 200}, {"past the grace", true, 503}} {
+		t.Run(tc.name, func(t *testing.T) {
+			sent.Store(0)
+			cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
+			clk := clock{time.Now()}
+			u := newUpstream(cfg, clk)
+			dialing, release := make(chan struct{}), make(chan struct{})
+			dial := u.dial
+			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				close(dialing)
+				<-release
+				return dial(ctx, network, addr)
+			}
+			l, err := newLoop(cfg, clk, u, func(bool) {}, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() { cancel(); <-l.over }()
+			go l.run(ctx)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			hs := &http.Server{Handler: newServer(cfg, l)}
+			go hs.Serve(ln)
+			defer hs.Close()
+			s := &running{addr: ln.Addr().String()}
+			answer := make(chan int, 1)
+			c, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			go func() {
+				resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
+				answer <- resp.StatusCode
+			}()
+			within(t, dialing, "dial")
+			drained := up("s-1", addr)
+			drained.Lifecycle = "draining"
+			l.told(List{Generation: 8, Instances: []Instance{drained}})
+			if tc.wait {
+				passed := make(chan struct{})
+				l.post(func(now int64) { l.at(now+cfg.Settings.Contract.DrainGrace, func(int64) { close(passed) }) })
+				within(t, passed, "end of the grace")
+			}
+			close(release)
+			if code := within(t, answer, "answer"); code != tc.want {
+				t.Errorf("answered %d, want %d", code, tc.want)
+			}
+			if got := sent.Load(); (got > 0) != (tc.want == 200) {
+				t.Errorf("the endpoint got %d requests", got)
+			}
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 const (
 	acceptFor  = 550 * time.Millisecond // after the order to stop: clients still connect for 0.4 s
 	headerMost = 16 << 10
+	headerTime = 10 * time.Second
 )
 
 // Run serves until stop ends, then finishes what it has taken and returns.
@@ -41,22 +42,17 @@
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	beside.Go(func() { l.run(ctx) })
-	beside.Go(func() { up.keep(ctx) })
 	if c.Settings.Subscribe {
-		watch.start = func(ctx context.Context) {
-			if _, err := w.watch(ctx); ctx.Err() == nil {
-				log.Warn("discovery watch ended", "error", err)
-				l.untold()
-			}
-		}
+		watch.watch, watch.ended = w.once, l.untold
 	} else {
 		beside.Go(func() { w.keep(ctx) })
 	}
+	beside.Go(func() { l.run(ctx) })
+	beside.Go(func() { up.keep(ctx) })
 	defer watch.set(false)
 
 	s := newServer(c, l)
-	hs := &http.Server{Handler: s, ConnState: s.track, MaxHeaderBytes: headerMost,
+	hs := &http.Server{Handler: s, ConnState: s.track, MaxHeaderBytes: headerMost, ReadHeaderTimeout: headerTime,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	broken := make(chan error, 1)
 	go func() { broken <- hs.Serve(ln) }()
@@ -92,16 +88,18 @@
 
 // switchable is a watch that the balancer asks for and ends.
 type switchable struct {
-	start func(ctx context.Context)
+	watch func(ctx context.Context)
+	ended func() // the watch ended by itself
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
 }
 
+// set asks for the watch, unless it is on or being asked for, or ends it.
 func (s *switchable) set(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on == (s.cancel != nil) || s.start == nil {
+	if on == (s.cancel != nil) || s.watch == nil {
 		return
 	}
 	if !on {
@@ -112,12 +110,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	go func() {
-		s.start(ctx)
+		s.watch(ctx)
 		s.mu.Lock()
-		defer s.mu.Unlock()
-		if ctx.Err() == nil {
+		off := ctx.Err() != nil
+		if !off {
 			cancel()
 			s.cancel = nil
 		}
+		s.mu.Unlock()
+		if !off {
+			s.ended()
+		}
 	}()
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -20,6 +20,7 @@
 
 const (
 	bodyMost     = 64 << 10
+	answerMost   = bodyMost + 64<<10 // with its head and framing
 	probeTimeout = 250 * time.Millisecond
 	sweepEvery   = time.Second
 )
@@ -44,12 +45,12 @@
 // sends some requests again by itself when a kept connection breaks, and does not tell whether the last
 // byte was written. Here an attempt is written at most once, in one piece.
 type upstream struct {
-	clock       clock
-	dialTimeout time.Duration
-	idleMost    time.Duration
-	connsMost   int
-	fields      []string
-	onAnswers   bool
+	clock     clock
+	idleMost  time.Duration
+	connsMost int
+	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	fields    []string
+	onAnswers bool
 
 	mu    sync.Mutex
 	conns int // open or being opened
@@ -58,19 +59,29 @@
 
 type conn struct {
 	net.Conn
-	r    *bufio.Reader
-	addr string
-	idle time.Time // since when
+	limit io.LimitedReader // what an answer may still take, head and all
+	r     *bufio.Reader
+	addr  string
+	idle  time.Time // since when
+}
+
+func newConn(nc net.Conn, addr string) *conn {
+	c := &conn{Conn: nc, addr: addr}
+	c.limit.R = nc
+	c.r = bufio.NewReaderSize(&c.limit, 4096)
+	return c
 }
 
 func newUpstream(c *Config, clk clock) *upstream {
-	u := &upstream{clock: clk, dialTimeout: time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond,
+	u := &upstream{clock: clk,
 		// Well before the endpoint's own limit: a request that crosses its close is lost.
 		idleMost: c.KeepAlive * 2 / 3, connsMost: c.Sockets / 4,
 		fields: c.Fields, onAnswers: c.OnAnswers, idle: map[string][]*conn{}}
-	if u.dialTimeout <= 0 {
-		u.dialTimeout = probeTimeout
+	timeout := time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond
+	if timeout <= 0 {
+		timeout = probeTimeout
 	}
+	u.dial = (&net.Dialer{Timeout: timeout}).DialContext
 	return u
 }
 
@@ -117,6 +128,7 @@
 // exchange writes a request and reads its answer. The connection is kept if both are whole.
 func (u *upstream) exchange(ctx context.Context, c *conn, text []byte, method string) reply {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	c.limit.N = answerMost
 	n, err := c.Write(text)
 	if err != nil {
 		stop()
@@ -242,15 +254,14 @@
 	}
 	u.conns++
 	u.mu.Unlock()
-	d := net.Dialer{Timeout: u.dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := u.dial(ctx, "tcp", addr)
 	if err != nil {
 		u.mu.Lock()
 		u.conns--
 		u.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
+	return newConn(nc, addr), nil
 }
 
 func (u *upstream) put(c *conn) {
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,317 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cottonpond/balancer"
+)
+
+// A figure that is missing or makes no sense must not read as an idle endpoint.
+func TestParseLoad(t *testing.T) {
+	fields := []string{"busy_reqs", "served_ps", "cpu_share"}
+	for _, tc := range []struct{ text, want string }{
+		{"TEXT busy_reqs=7, served_ps=2, cpu_share=0.5", "[7 2 0.5]"},
+		{"TEXT cpu_share=0.5,busy_reqs=7,served_ps=2", "[7 2 0.5]"},
+		{"busy_reqs=0, new=4", "[0 NaN NaN]"},
+		{"TEXT busy_reqs=x, served_ps=-1, cpu_share=Inf", "[]"},
+		{"TEXT busy_reqs", "[]"},
+		{"JSON {}", "[]"},
+		{"", "[]"},
+	} {
+		if got := fmt.Sprint(parseLoad(fields, tc.text)); got != tc.want {
+			t.Errorf("parseLoad(%q) = %s, want %s", tc.text, got, tc.want)
+		}
+	}
+}
+
+func newTestUpstream(t *testing.T, edits ...string) *upstream {
+	return newUpstream(configure(t, "127.0.0.1:1", nil, edits...), clock{time.Now()})
+}
+
+// try makes one attempt with a second of time.
+func (u *upstream) try(m *message, addr string) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	return u.send(ctx, addr, m, u.clock.now()+1_000_000, func(balancer.Micros) bool { return true })
+}
+
+func keyed(body string) *message {
+	return &message{method: "POST", uri: "/book", host: "origin.svc", body: []byte(body),
+		header: http.Header{"X-Trace-Id": {"1"}, "Idempotency-Key": {"k"}}}
+}
+
+func plainGet() *message {
+	return &message{method: "GET", uri: "/look", host: "origin.svc", header: http.Header{"X-Trace-Id": {"1"}}}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Each Send is at most one attempt on the wire, also for requests that an http.Transport would send again:
+// those of a kept connection that breaks after the request was read.
+func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
+	for name, m := range map[string]*message{"get": plainGet(), "keyed": keyed("x")} {
+		t.Run(name, func(t *testing.T) {
+			var taken atomic.Int32
+			addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				for i := 0; i < 2; i++ {
+					if _, err := take(r); err != nil {
+						return
+					}
+					if taken.Add(1); i == 0 {
+						io.WriteString(c, okAnswer)
+					}
+				}
+			})
+			u := newTestUpstream(t)
+			if r := u.try(m, addr); r.status != balancer.OK {
+				t.Fatalf("first: status %v", r.status)
+			}
+			if r := u.try(m, addr); r.status != balancer.Reset {
+				t.Errorf("second: status %v, want Reset", r.status)
+			}
+			if n := taken.Load(); n != 2 {
+				t.Errorf("the endpoint took %d requests, want 2", n)
+			}
+		})
+	}
+}
+
+// short is a connection that breaks before the last bytes of a write.
+type short struct {
+	net.Conn
+	lack int
+}
+
+func (s short) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p[:max(0, len(p)-s.lack)])
+	if s.lack > 0 {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+// Whether a request may have run turns on its last byte.
+func TestLastByteDecides(t *testing.T) {
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		take(r)
+		c.SetLinger(0) // breaks with a reset
+	})
+	m := keyed(strings.Repeat("x", 1000))
+	for _, tc := range []struct {
+		name string
+		lack int
+		want balancer.Status
+	}{
+		{"all but one byte", 1, balancer.ConnectFailed},
+		{"no byte", 1 << 20, balancer.ConnectFailed},
+		{"all", 0, balancer.Reset},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newTestUpstream(t)
+			dial := u.dial
+			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(ctx, network, addr)
+				return short{c, tc.lack}, err
+			}
+			if r := u.try(m, addr); r.status != tc.want {
+				t.Errorf("status %v, want %v", r.status, tc.want)
+			}
+		})
+	}
+	u := newTestUpstream(t)
+	if r := u.try(m, nowhere(t)); r.status != balancer.ConnectFailed {
+		t.Errorf("refused connection: status %v, want ConnectFailed", r.status)
+	}
+}
+
+// What the endpoint's answer means. Only a marked 503 or 504 proves that the request never ran, and only a
+// whole 200 counts as one.
+func TestAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, answer string
+		want         balancer.Status
+	}{
+		{"whole", okAnswer, balancer.OK},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balancer.OK},
+		{"after a 100", "HTTP/1.1 100 Continue\r\n\r\n" + okAnswer, balancer.OK},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", balancer.Error},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Full},
+		{"late", "HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Full},
+		{"unmarked 503", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balancer.Error},
+		{"marked 500", "HTTP/1.1 500 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Error},
+		{"redirect", "HTTP/1.1 302 No\r\nLocation: /\r\nContent-Length: 0\r\n\r\n", balancer.Error},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", balancer.Reset},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", balancer.Reset},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", balancer.Reset},
+		{"length unknown", "HTTP/1.1 200 OK\r\n\r\nok", balancer.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", balancer.Reset},
+		{"nothing", "", balancer.Reset},
+		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", bodyMost+1,
+			strings.Repeat("x", bodyMost+1)), balancer.Reset},
+		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				take(r)
+				io.WriteString(c, tc.answer)
+			})
+			r := newTestUpstream(t).try(keyed("x"), addr)
+			if r.status != tc.want {
+				t.Errorf("status %v, want %v", r.status, tc.want)
+			}
+			if r.status == balancer.OK && string(r.body) != "ok" {
+				t.Errorf("body %q", r.body)
+			}
+		})
+	}
+}
+
+// A connection that the endpoint has closed meanwhile must not be used: the request would be lost, and
+// whether it ran would not be known.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		take(r)
+		io.WriteString(c, okAnswer)
+		c.Close()
+		closed <- struct{}{}
+	})
+	u := newTestUpstream(t)
+	for i := range 3 {
+		if r := u.try(plainGet(), addr); r.status != balancer.OK {
+			t.Fatalf("request %d: status %v", i, r.status)
+		}
+		within(t, closed, "close")
+	}
+}
+
+// An idle connection is retired well before the endpoint would close it, and the sweep closes it.
+func TestIdleConnectionIsRetired(t *testing.T) {
+	var dials atomic.Int32
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		dials.Add(1)
+		for {
+			if _, err := take(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	u := newTestUpstream(t)
+	if most := 12 * time.Second; u.idleMost > most {
+		t.Errorf("kept idle for %v where the endpoint closes after 15 s", u.idleMost)
+	}
+	age := func() {
+		for _, c := range u.idle[addr] {
+			c.idle = c.idle.Add(-u.idleMost)
+		}
+	}
+	u.try(plainGet(), addr)
+	u.try(plainGet(), addr)
+	if n := dials.Load(); n != 1 {
+		t.Fatalf("%d connections for two requests in turn, want 1", n)
+	}
+	age()
+	u.try(plainGet(), addr)
+	if n := dials.Load(); n != 2 {
+		t.Errorf("%d connections after one grew old, want 2", n)
+	}
+	age()
+	if u.sweep(); u.conns != 0 {
+		t.Errorf("%d connections open after the sweep, want 0", u.conns)
+	}
+}
+
+// The connection used last is used next, so that those not needed grow old and are closed.
+func TestLatestConnectionFirst(t *testing.T) {
+	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) })
+	u := newTestUpstream(t)
+	ctx := context.Background()
+	first, err := u.get(ctx, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := u.get(ctx, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.put(first)
+	u.put(second)
+	if got, err := u.get(ctx, addr); err != nil || got != second {
+		t.Errorf("the connection used last was not taken (error %v)", err)
+	}
+}
+
+// Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
+func TestConnectionsAreBounded(t *testing.T) {
+	one := raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) })
+	two := raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) })
+	u := newTestUpstream(t)
+	u.connsMost = 2
+	ctx := context.Background()
+	a, err := u.get(ctx, one)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := u.get(ctx, one); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := u.get(ctx, two); err != errNoRoom {
+		t.Fatalf("third connection: error %v, want %v", err, errNoRoom)
+	}
+	u.put(a)
+	if _, err := u.get(ctx, two); err != nil {
+		t.Errorf("third connection with one idle: %v", err)
+	}
+	if u.conns != 2 {
+		t.Errorf("%d connections counted, want 2", u.conns)
+	}
+	// One that is refused gives its place back.
+	u.connsMost = 3
+	u.get(ctx, nowhere(t))
+	if u.conns != 2 {
+		t.Errorf("%d connections counted after one refused, want 2", u.conns)
+	}
+}
+
+// A probe asks for the load where there are reports, for the health elsewhere, and waits only so long.
+func TestProbe(t *testing.T) {
+	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/-/load":
+			io.WriteString(w, "TEXT cpu_share=0.61, busy_reqs=7, served_ps=2")
+		case "/-/healthy":
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	})
+	r := newTestUpstream(t).probe(addr)
+	if got := fmt.Sprint(r.status, r.load); got != "0 [7 2 0.61]" {
+		t.Errorf("probe: status and load %s, want 0 [7 2 0.61]", got)
+	}
+	r = newTestUpstream(t, `"how":"probe"`, `"how":"none"`).probe(addr)
+	if r.status != balancer.OK || r.load != nil {
+		t.Errorf("probe without reports: status %v, load %v", r.status, r.load)
+	}
+	ended := make(chan error, 1)
+	mute := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		take(r)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	if r := newTestUpstream(t).probe(mute); r.status == balancer.OK {
+		t.Error("a probe that nobody answered is ok")
+	}
+	if err := within(t, ended, "end of a mute probe"); err == nil {
+		t.Error("more was written to a mute probe")
+	}
+}
