--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -78,7 +78,9 @@
 		if heard {
 			wait = waitLeast
 		}
-		w.log.Warn("discovery watch ended", "error", err)
+		if wait == waitLeast { // one line for an outage, not one for each try
+			w.log.Warn("discovery watch ended, asking again", "error", err)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait/2 + rand.N(wait)):
