Wait a tenth of the aim for an answer at least: fast endpoints were refused

Cause: an attempt of a safe class is waited for 6 times what is expected of it. With endpoints that answer in 0.2 ms that is under the millisecond in which the time left is told, so the sidecar sent nothing, reported the attempt as never sent, and the retry credit ran dry. Without -race the socket tests failed for the same reason.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -174,11 +174,12 @@
 // harmless and would still be in time, another endpoint gets the request.
 func (b *Balancer) patience(now Micros, r *request, expected float64) Micros {
 	c := b.class(r)
+	wait := max(waitMost*expected, float64(c.Aim)/waitLeast)
 	if c.Repeat != Safe || len(r.attempts) >= b.s.Limits.MaxAttempts || b.credit < 1 ||
-		float64(now-r.arrived)+(waitMost+1)*expected > float64(c.Aim) {
+		float64(now-r.arrived)+wait+expected > float64(c.Aim) {
 		return 0
 	}
-	return Micros(waitMost * expected)
+	return Micros(wait)
 }
 
 // refuse gives the final answer "refused" where that is true, else "failed".
@@ -675,7 +676,8 @@
 	roomLeast   = 0.2  // and by any
 	mixLeast    = 0.05 // part of all allowances that a balancer must carry to judge of shares
 	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
-	waitMost    = 6.0  // times what is expected
+	waitMost    = 6.0  // times what is expected,
+	waitLeast   = 10   // but such a part of the aim at least: shorter silences are made by schedulers and hosts
 	windowGain  = 4.0  // worth counts more in the worst windows, and those are when requests are refused
 )
 
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -34,6 +34,7 @@
 // recorder keeps what a balancer asks of its host.
 type recorder struct {
 	sends   []sent
+	waits   []Micros // of the sends
 	refused []uint64
 	failed  []uint64
 	cancels []uint64
@@ -44,10 +45,12 @@
 	logs    []string
 }
 
-func (r *recorder) Send(id uint64, e uint32, _ Micros) { r.sends = append(r.sends, sent{id, e}) }
-func (r *recorder) Refuse(id uint64, _ Micros)         { r.refused = append(r.refused, id) }
-func (r *recorder) Fail(id uint64)                     { r.failed = append(r.failed, id) }
-func (r *recorder) Cancel(id uint64, _ int)            { r.cancels = append(r.cancels, id) }
+func (r *recorder) Send(id uint64, e uint32, timeout Micros) {
+	r.sends, r.waits = append(r.sends, sent{id, e}), append(r.waits, timeout)
+}
+func (r *recorder) Refuse(id uint64, _ Micros) { r.refused = append(r.refused, id) }
+func (r *recorder) Fail(id uint64)             { r.failed = append(r.failed, id) }
+func (r *recorder) Cancel(id uint64, _ int)    { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(delay Micros, token uint32) {
 	r.timers, r.delays = append(r.timers, token), append(r.delays, delay)
 }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -235,6 +235,28 @@
 	}
 }
 
+// An endpoint that answers in a fraction of a millisecond must not be left for a silence of a few: nobody's
+// clock tells so little, and an attempt given less time than it takes to write it is never made.
+func TestFastEndpointsAreWaitedFor(t *testing.T) {
+	s := testSettings()
+	s.Limits.Probes = false
+	b, r := start(t, s, ready(4))
+	for id := range uint64(3000) {
+		now := Micros(id) * 700
+		b.Request(now, request0(id, 0, now))
+		if len(r.sends) != int(id)+1 {
+			t.Fatalf("request %d was not sent", id)
+		}
+		if wait := r.waits[id]; wait != 0 && wait < s.Classes[0].Aim/waitLeast {
+			t.Fatalf("attempt %d is waited for %d us only", id, wait)
+		}
+		b.Outcome(now+200, Outcome{ID: id, Endpoint: r.sends[id].endpoint, Status: OK, Latency: 200, Settled: true})
+	}
+	if r.waits[2999] == 0 {
+		t.Error("attempts of a safe class are waited for without end")
+	}
+}
+
 // A stuck endpoint must not look idle while its answers are merely missing.
 func TestSilentEndpointIsLeftBeforeAveragesShowIt(t *testing.T) {
 	s := testSettings()
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -386,6 +386,25 @@
 	}
 }
 
+// Endpoints that answer in a fraction of a millisecond are not refused for being fast.
+func TestFastEndpoints(t *testing.T) {
+	var known []Instance
+	for i := range 4 {
+		known = append(known, up(fmt.Sprint("s-", i), web(t, func(http.ResponseWriter, *http.Request) {})))
+	}
+	s := start(t, configure(t, nowhere(t), known))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 1500 {
+		if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 {
+			t.Fatalf("request %d: %s", i, resp.Status)
+		}
+	}
+}
+
 // Whoever sends no whole request is told so or cut off within 3 s, before another reading and before the
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,276 @@
+// Package endpoint is a stand-in for the servers that requests are balanced over: HTTP/1.1 on loopback, with
+// cores that requests queue for, a warm-up, draining and faults on demand, and a record of all that ran. It
+// speaks what PROTOCOL says an endpoint speaks and knows nothing of the program under test.
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options say how an endpoint behaves. The zero value answers at once.
+type Options struct {
+	Name string
+
+	// Work is how long a core is busy with a request of a class, the first part of the path; the entry "" is
+	// for classes that have none. Each request's is drawn from Work*(1±Spread).
+	Work   map[string]time.Duration
+	Spread float64
+	Cores  int // requests worked at side by side; 0 is no bound
+	Queue  int // requests that wait for a core; beyond it 503 with X-Never-Ran; 0 is no bound
+
+	// ColdFrom is the share of its speed that a started endpoint has at first; it is warm after Warm.
+	ColdFrom float64
+	Warm     time.Duration
+
+	// Keyed is how long the endpoint remembers an Idempotency-Key and drops its repeats.
+	Keyed  time.Duration
+	Ledger *Ledger // where what ran is written down; nil is nowhere
+	Body   int     // bytes of an answer, at least
+}
+
+// Run is one request that reached an endpoint.
+type Run struct {
+	Endpoint string
+	Class    string
+	ID       string // X-Trace-Id
+	Key      string // Idempotency-Key
+	At       time.Time
+	Effect   bool // it took effect: it was no repeat that the endpoint knew
+}
+
+// Ledger records what ran at endpoints that share it: a group that drops repeats of a key.
+type Ledger struct {
+	mu    sync.Mutex
+	runs  []Run
+	known map[string]time.Time // keys, by when they last took effect
+}
+
+// Runs returns what has run so far, in the order it began.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+func (l *Ledger) add(r Run, window time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Key != "" && window > 0 {
+		if l.known == nil {
+			l.known = map[string]time.Time{}
+		}
+		if at, ok := l.known[r.Key]; ok && r.At.Sub(at) < window {
+			r.Effect = false
+		} else {
+			l.known[r.Key] = r.At
+		}
+	}
+	l.runs = append(l.runs, r)
+}
+
+// Server is a running endpoint.
+type Server struct {
+	Addr string
+
+	o       Options
+	cores   chan struct{}
+	started time.Time
+	http    *http.Server
+	done    chan struct{}
+
+	mu       sync.Mutex
+	waiting  int
+	working  int
+	served   int
+	draining bool
+	fault    func(*http.Request) Fault
+}
+
+// Fault is what goes wrong with a request.
+type Fault uint8
+
+// The faults.
+const (
+	None   Fault = iota
+	Fail         // 500
+	Silent       // no answer, until the client leaves
+	Break        // the connection is reset, after the request was taken
+)
+
+// Start starts an endpoint on a free port of loopback.
+func Start(o Options) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return Serve(ln, o), nil
+}
+
+// Serve starts an endpoint on a listener.
+func Serve(ln net.Listener, o Options) *Server {
+	s := &Server{Addr: ln.Addr().String(), o: o, started: time.Now(), done: make(chan struct{})}
+	if o.Cores > 0 {
+		s.cores = make(chan struct{}, o.Cores)
+	}
+	s.http = &http.Server{Handler: s}
+	go func() {
+		defer close(s.done)
+		s.http.Serve(ln)
+	}()
+	return s
+}
+
+// Close ends the endpoint at once, as a process that dies: its connections are reset.
+func (s *Server) Close() {
+	s.http.Close()
+	<-s.done
+}
+
+// Drain says whether the endpoint is draining: it finishes what it has and turns new requests away.
+func (s *Server) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = on
+}
+
+// Faults sets what goes wrong from now on; nil is nothing.
+func (s *Server) Faults(f func(*http.Request) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Started returns when the endpoint started.
+func (s *Server) Started() time.Time { return s.started }
+
+// Load returns how many requests are being worked at and waiting.
+func (s *Server) Load() (working, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.working, s.waiting
+}
+
+// ServeHTTP answers a request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/-/healthy", "/-/load":
+		s.mu.Lock()
+		text := fmt.Sprintf("TEXT inflight=%d, queue=%d", s.working+s.waiting, s.waiting)
+		s.mu.Unlock()
+		io.WriteString(w, text)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // it has not come whole, so it has not run
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	run := Run{Endpoint: s.o.Name, Class: class, ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key"),
+		At: time.Now(), Effect: true}
+	fault, turnedAway := s.enter(r)
+	if turnedAway {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if s.o.Ledger != nil {
+		s.o.Ledger.add(run, s.o.Keyed)
+	}
+	ran := s.work(r.Context(), class)
+	s.leave()
+	switch {
+	case !ran || fault == Break:
+		panic(http.ErrAbortHandler)
+	case fault == Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case fault == Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// The answer tells whose it is, so that a client can see that it got its own.
+	answer := run.ID + " " + s.o.Name + " " + fmt.Sprint(len(body)) + "\n"
+	if more := s.o.Body - len(answer); more > 0 {
+		answer += strings.Repeat(".", more)
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	io.WriteString(w, answer)
+}
+
+func (s *Server) enter(r *http.Request) (fault Fault, turnedAway bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || s.o.Queue > 0 && s.waiting >= s.o.Queue {
+		return None, true
+	}
+	s.waiting++
+	if s.fault != nil {
+		fault = s.fault(r)
+	}
+	return fault, false
+}
+
+// work waits for a core and holds it, and says whether the client stayed to the end.
+func (s *Server) work(ctx context.Context, class string) bool {
+	if s.cores != nil {
+		select {
+		case s.cores <- struct{}{}:
+		case <-ctx.Done():
+			s.mu.Lock()
+			s.waiting, s.working = s.waiting-1, s.working+1
+			s.mu.Unlock()
+			return false
+		}
+		defer func() { <-s.cores }()
+	}
+	s.mu.Lock()
+	s.waiting, s.working = s.waiting-1, s.working+1
+	s.mu.Unlock()
+	d, ok := s.o.Work[class]
+	if !ok {
+		d = s.o.Work[""]
+	}
+	if d <= 0 {
+		return true
+	}
+	d = time.Duration(float64(d) * (1 + s.o.Spread*(2*rand.Float64()-1)) / s.speed())
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// speed is the share of its full speed that the endpoint has by now.
+func (s *Server) speed() float64 {
+	age := time.Since(s.started)
+	if s.o.Warm <= 0 || s.o.ColdFrom <= 0 || age >= s.o.Warm {
+		return 1
+	}
+	return s.o.ColdFrom + (1-s.o.ColdFrom)*age.Seconds()/s.o.Warm.Seconds()
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.working--
+	s.served++
+}
+
+// Served returns how many requests have been worked at to an end.
+func (s *Server) Served() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served
+}
