Bound clients' connections at rest on their own, far tighter than those in use

Clients hold at most a third of the descriptors, and while the sidecar kept half of its own for connections that asked once and stayed, the usual clients could open none: their requests never came.

Change: package decide/conns, a state machine without I/O, decides which connections are kept. Those with an open request may take all that is for clients; those without one a sixth of the descriptors, and the time for which one may rest falls evenly from 15 s to 0.1 s as that bound is neared. It knows owners with bounds and weights of their own, which the daemon will use. GET /-/ready on a kept connection counts as a request.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"container/list"
 	"errors"
 	"io"
 	"log/slog"
@@ -12,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"cottonpond/internal/decide/conns"
 )
 
 // client is a client's connection.
@@ -19,28 +20,32 @@
 	net.Conn
 	limit io.LimitedReader // what may still be read for the present request
 	r     *bufio.Reader
-
-	// Guarded by clients.mu.
-	quiet   *list.Element // its place in clients.quiet; nil while a request is open
-	evicted bool          // and closed by that
+	place *conns.Conn[*client] // guarded by clients.mu
 }
 
 // clients accepts connections and bounds their number. The sidecar does this itself, not http.Server, since it
 // must know what else waits on a connection behind a request, and which connection it can best do without.
 type clients struct {
-	most int
-	talk func(*client) // until the connection is to be closed
-	log  *slog.Logger
+	clock clock
+	talk  func(*client) // until the connection is to be closed
+	log   *slog.Logger
 
 	mu      sync.Mutex
-	open    int        // connections with an open request
-	quiet   *list.List // *client: those without, the one that has been so for longest first
+	table   *conns.Table[*client]
+	owner   *conns.Owner[*client] // of all of them
+	idle    *time.Timer           // looks for what has rested too long
 	closing bool
 	talks   sync.WaitGroup
 }
 
-func newClients(most int, talk func(*client), log *slog.Logger) *clients {
-	return &clients{most: most, talk: talk, log: log, quiet: list.New()}
+func newClients(l conns.Limits, clk clock, talk func(*client), log *slog.Logger) (*clients, error) {
+	table, err := conns.New[*client](l)
+	if err != nil {
+		return nil, err
+	}
+	k := &clients{clock: clk, talk: talk, log: log, table: table, owner: table.Owner(1, l.Total)}
+	k.idle = time.AfterFunc(time.Hour, k.expire)
+	return k, nil
 }
 
 const (
@@ -65,7 +70,7 @@
 				k.log.Warn("accept", "error", err)
 			}
 			k.mu.Lock()
-			k.evictLocked()
+			k.closeLocked(k.table.Spare())
 			k.mu.Unlock()
 			time.Sleep(wait)
 			wait = min(2*wait, acceptWaitMost)
@@ -74,67 +79,69 @@
 }
 
 func (k *clients) add(nc net.Conn) {
+	c := &client{Conn: nc}
+	c.limit.R = nc
+	c.r = bufio.NewReader(&c.limit)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.open+k.quiet.Len() >= k.most && !k.evictLocked() {
+	place, spare := k.table.Open(k.clock.now(), k.owner, c)
+	k.closeLocked(spare)
+	if place == nil {
 		nc.Close() // all others are waiting for their answers
 		return
 	}
-	c := &client{Conn: nc}
-	c.limit.R = nc
-	c.r = bufio.NewReader(&c.limit)
-	c.quiet = k.quiet.PushBack(c)
+	c.place = place
+	k.expireLocked()
 	k.talks.Go(func() {
 		k.talk(c)
-		k.remove(c)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.closeLocked(c.place)
 	})
 }
 
-// evictLocked closes the connection that has had no open request for longest.
-func (k *clients) evictLocked() bool {
-	first := k.quiet.Front()
-	if first == nil {
-		return false
+func (k *clients) closeLocked(place *conns.Conn[*client]) {
+	if place != nil {
+		k.table.Close(place)
+		place.Value.Close()
 	}
-	c := k.quiet.Remove(first).(*client)
-	c.evicted = true
-	c.Close()
-	return true
 }
 
-// take notes that a connection has an open request, unless it has been closed meanwhile.
-func (k *clients) take(c *client) bool {
+// expire closes what has rested for too long.
+func (k *clients) expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.evicted {
-		return false
+	k.expireLocked()
+}
+
+func (k *clients) expireLocked() {
+	now := k.clock.now()
+	for {
+		c, next := k.table.Expired(now)
+		if c == nil {
+			if next > 0 {
+				k.idle.Reset(time.Duration(next-now) * time.Microsecond)
+			}
+			return
+		}
+		k.closeLocked(c)
 	}
-	k.quiet.Remove(c.quiet)
-	c.quiet = nil
-	k.open++
-	return true
 }
 
-// rest notes that a request has its answer, and says whether the connection may stay open.
-func (k *clients) rest(c *client) bool {
+// take notes that a connection has an open request, unless it has been closed meanwhile.
+func (k *clients) take(c *client) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.open--
-	c.quiet = k.quiet.PushBack(c)
-	return !k.closing
+	return k.table.Take(c.place)
 }
 
-func (k *clients) remove(c *client) {
-	c.Close()
+// rest notes that a request has its answer, and says whether the connection may stay open.
+func (k *clients) rest(c *client) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	switch {
-	case c.evicted:
-	case c.quiet == nil:
-		k.open--
-	default:
-		k.quiet.Remove(c.quiet)
-	}
+	k.closeLocked(k.table.Rest(k.clock.now(), c.place))
+	k.expireLocked()
+	return !k.closing
 }
 
 // hush closes the connections without an open request; those with one close once they have their answers.
@@ -142,7 +149,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
-	for k.evictLocked() {
+	for c := k.table.Spare(); c != nil; c = k.table.Spare() {
+		k.closeLocked(c)
 	}
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"cottonpond/balancer"
+	"cottonpond/internal/decide/conns"
 	"cottonpond/internal/wire"
 )
 
@@ -68,12 +69,25 @@
 // runtime, calls of discovery, the file of the configuration.
 const ownSockets = 16
 
-// clientConns is how many connections of clients may be open. The other half is for connections to endpoints:
-// an open request has one of each, and probes and second attempts want more.
-func (c *Config) clientConns() int { return (c.Sockets - ownSockets) / 2 }
+const (
+	// restPart of the descriptors, at most, are clients' connections without an open request. The machine of the
+	// clients has limits of its own, and every connection that we keep at rest is one that they cannot open anew:
+	// with half of the descriptors for such, clients that asked once and stayed held all that the usual ones
+	// needed, and their requests never came (incident r412b9a).
+	restPart  = 6
+	idleMost  = 15 * time.Second // between requests, while no other connection rests
+	idleLeast = 100 * time.Millisecond
+)
+
+// clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
+// connections to endpoints: an open request has one of each, and probes and second attempts want more.
+func (c *Config) clientLimits() conns.Limits {
+	return conns.Limits{Total: (c.Sockets - ownSockets) / 2, AtRest: (c.Sockets - ownSockets) / restPart,
+		IdleMost: idleMost.Microseconds(), IdleLeast: idleLeast.Microseconds()}
+}
 
 // upstreamConns is how many connections to endpoints may be open.
-func (c *Config) upstreamConns() int { return c.Sockets - ownSockets - c.clientConns() }
+func (c *Config) upstreamConns() int { return c.Sockets - ownSockets - c.clientLimits().Total }
 
 // ReadConfig reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
 func ReadConfig(getenv func(string) string) (*Config, error) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -24,8 +24,7 @@
 
 const (
 	headerMost  = 16 << 10
-	requestTime = 2 * time.Second  // for a whole request, from its first byte or the connection's beginning
-	idleTime    = 15 * time.Second // between requests
+	requestTime = 2 * time.Second // for a whole request, from its first byte or the connection's beginning
 )
 
 // server takes clients' requests and gives their answers.
@@ -36,10 +35,11 @@
 	closing atomic.Bool
 }
 
-func newServer(c *Config, l *loop, log *slog.Logger) *server {
+func newServer(c *Config, l *loop, log *slog.Logger) (*server, error) {
 	s := &server{loop: l, config: c}
-	s.clients = newClients(c.clientConns(), s.talk, log)
-	return s
+	var err error
+	s.clients, err = newClients(c.clientLimits(), l.clock, s.talk, log)
+	return s, err
 }
 
 // talk serves a connection, one request at a time.
@@ -55,7 +55,7 @@
 func (s *server) exchange(c *client, until time.Time) bool {
 	c.limit.N = headerMost
 	if until.IsZero() {
-		c.SetReadDeadline(time.Now().Add(idleTime))
+		c.SetReadDeadline(time.Time{}) // until it is closed for having rested too long
 		if _, err := c.r.Peek(1); err != nil {
 			return false
 		}
@@ -76,7 +76,7 @@
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
 		last := r.Close || s.closing.Load()
-		return c.write(a, last) && !last
+		return s.clients.take(c) && c.write(a, last) && s.clients.rest(c) && !last
 	}
 	k, err := s.parse(c, r, at)
 	if err != nil {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -362,7 +362,7 @@
 	}()
 	within(t, taken, "attempt")
 	var silent []net.Conn
-	for range 2 * cfg.clientConns() {
+	for range 2 * cfg.clientLimits().Total {
 		silent = append(silent, dial())
 	}
 	kept := dial()
@@ -405,6 +405,75 @@
 	}
 }
 
+// Clients that ask once and stay hold few of the descriptors that their own machine needs to open connections,
+// while those whose requests are open may take all that there are for clients (incident r412b9a).
+func TestRestingConnections(t *testing.T) {
+	taken, release := make(chan struct{}, 64), make(chan struct{})
+	addr := web(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pay" {
+			taken <- struct{}{}
+			<-release
+		}
+	})
+	free := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(free)     // or the endpoint could not be closed
+	var many []Instance // or one would seem overrun
+	for i := range 64 {
+		many = append(many, up(fmt.Sprint("s-", i), addr))
+	}
+	cfg := configure(t, nowhere(t), many)
+	cfg.Sockets = 2 * leastSockets
+	limits := cfg.clientLimits()
+	if 4*limits.AtRest > cfg.Sockets {
+		t.Fatalf("%d of %d descriptors may rest: not well under the third that clients have", limits.AtRest, cfg.Sockets)
+	}
+	s := start(t, cfg)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	var stayed []net.Conn
+	for range 2 * limits.AtRest {
+		c := dial()
+		if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 || resp.Close {
+			t.Fatalf("%s, close %v", resp.Status, resp.Close)
+		}
+		stayed = append(stayed, c)
+	}
+	// The earliest are closed at once, not after the idle time.
+	for i, c := range stayed[:limits.AtRest] {
+		c.SetReadDeadline(time.Now().Add(soon))
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Fatalf("connection %d: %v, want it closed", i, err)
+		}
+	}
+	// The others follow far sooner than one connection alone would.
+	began := time.Now()
+	stayed[limits.AtRest].SetReadDeadline(began.Add(idleMost / 2))
+	if _, err := stayed[limits.AtRest].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("among as many as may rest: %v, want it closed", err)
+	}
+	codes := make(chan int, limits.Total)
+	for range limits.Total {
+		c := dial()
+		go func() {
+			resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
+			codes <- resp.StatusCode
+		}()
+		within(t, taken, "an attempt of each that is open")
+	}
+	free()
+	for range limits.Total {
+		if code := within(t, codes, "answer"); code != 200 {
+			t.Errorf("of those open together: %d", code)
+		}
+	}
+}
+
 // Whoever sends no whole request is told so or cut off within 3 s, before another reading and before the
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
@@ -647,7 +716,11 @@
 				t.Fatal(err)
 			}
 			defer ln.Close()
-			go newServer(cfg, l, quiet).clients.accept(ln)
+			server, err := newServer(cfg, l, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go server.clients.accept(ln)
 			s := &running{addr: ln.Addr().String()}
 			answer := make(chan int, 1)
 			c, err := net.Dial("tcp", s.addr)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,7 +54,11 @@
 	})
 	defer d.set(false)
 
-	s := newServer(c, l, log)
+	s, err := newServer(c, l, log)
+	if err != nil {
+		ln.Close()
+		return err
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- s.clients.accept(ln) }()
 	log.Info("serving", "name", c.Name, "listen", ln.Addr().String())
