--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
 )
 
 // host prints what a balancer asks for. A sidecar does these things.
--- a/cmd/dunlinbench/main.go
+++ b/cmd/dunlinbench/main.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"cottonpond/internal/bench"
+	"dunlinsail/internal/bench"
 )
 
 const usage = `usage: dunlinbench MEASUREMENT [flags]
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -10,7 +10,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"cottonpond/internal/sidecar"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/sidecar"
 )
 
 func main() {
@@ -20,7 +21,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	// One core is ours, and other sidecars may share it.
 	runtime.GOMAXPROCS(1)
-	read := func() (*sidecar.Config, error) { return sidecar.ReadConfig(os.Getenv) }
+	read := func() (*platform.Config, error) { return platform.Read(os.Getenv) }
 	config, err := read()
 	if err != nil {
 		log.Error("cannot start", "error", err)
--- a/cmd/dunlinsail/main_test.go
+++ b/cmd/dunlinsail/main_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +29,19 @@
 	"overload-for":2000000,"ask-within":10000000},
 	"limits":{"cancel":true,"most-tries":3,"most-held":1000,"dial-timeout":1000000,"keepalive":15000000}}}`
 
+// The sidecar has to fit into a few megabytes: it links the standard library and this project, nothing else.
+func TestLinksNoLibrary(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{with .Module}}{{.Path}}{{end}}", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, module := range strings.Fields(string(out)) {
+		if module != "dunlinsail" {
+			t.Errorf("it links %s", module)
+		}
+	}
+}
+
 // SIGHUP does not end the program, whatever the file holds by then; SIGTERM ends it with 0.
 func TestSignals(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/wire"
+	"dunlinsail/balancer"
+	"dunlinsail/internal/wire"
 )
 
 func main() {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,8 +16,8 @@
 	"syscall"
 	"time"
 
-	"cottonpond/internal/standin/client"
-	"cottonpond/internal/standin/endpoint"
+	"dunlinsail/internal/standin/client"
+	"dunlinsail/internal/standin/endpoint"
 )
 
 // process is a program under test.
--- a/internal/bench/fast.go
+++ b/internal/bench/fast.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
-	"cottonpond/internal/standin/client"
-	"cottonpond/internal/standin/endpoint"
+	"dunlinsail/internal/standin/client"
+	"dunlinsail/internal/standin/endpoint"
 )
 
 // Fast asks endpoints that answer in a fraction of a millisecond, through the sidecar and through
--- a/internal/sidecar/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package discovery is a source of membership: it holds a watch at a discovery service as PROTOCOL describes it
+// and tells the lists that come. It knows nothing of what is done with them.
+package discovery
 
 import (
 	"bufio"
@@ -17,7 +19,8 @@
 	"sync"
 	"time"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
+	"dunlinsail/internal/core"
 )
 
 // List is discovery's form of the list of endpoints, or of what changed in it.
@@ -39,6 +42,28 @@
 	StartedMs int64   `json:"startedAtMs"`
 }
 
+// Kind says how the list's entries are to be read.
+func (l *List) Kind() balancer.ListKind {
+	if l.Reset {
+		return balancer.ListFull
+	}
+	return balancer.ListDelta
+}
+
+// Members returns the list's entries as the core takes them.
+func (l *List) Members() []core.Member {
+	all := make([]core.Member, 0, len(l.Instances))
+	for _, in := range l.Instances {
+		state, known := states[in.Lifecycle]
+		if !known {
+			state = balancer.Draining
+		}
+		all = append(all, core.Member{Name: in.ID, Addr: in.Addr, Zone: in.Zone, Kind: in.Kind, Cell: in.Cell,
+			State: state, Weight: in.Weight, Started: in.StartedMs * 1000})
+	}
+	return all
+}
+
 // states gives the meaning of a lifecycle. What an unlisted word means is not known: nothing new goes there.
 var states = map[string]balancer.State{
 	"up": balancer.Ready, "draining": balancer.Draining, "removed": balancer.Gone}
@@ -50,22 +75,28 @@
 	lineShare = 16 // of the memory, a line of discovery's may take one part in so many
 )
 
-// unlisted is the generation of a watcher that holds no list of its discovery yet.
-const unlisted = -1
+// Unlisted is the generation of a watcher that holds no list of its discovery yet.
+const Unlisted = -1
+
+// Teller is told of each list. What it is told when the context has ended comes too late.
+type Teller func(ctx context.Context, l List)
+
+// Watcher holds a watch at one discovery and tells of each line.
+type Watcher struct {
+	Mute time.Duration // a watch that says nothing for so long is asked for again
 
-// watcher holds a watch at one discovery and tells the loop of each line.
-type watcher struct {
 	addr     string
 	client   *http.Client
-	after    int64 // generation of the latest list of this discovery, or unlisted
+	after    int64 // generation of the latest list of this discovery, or Unlisted
 	lineMost int
-	mute     time.Duration
-	tell     func(context.Context, List) // what is told when the context has ended comes too late
+	tell     Teller
 	log      *slog.Logger
 }
 
-func newWatcher(addr string, after int64, memoryMB int, tell func(context.Context, List), log *slog.Logger) *watcher {
-	return &watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, mute: muteAfter, tell: tell, log: log,
+// NewWatcher returns a watcher of the discovery at addr, whose list after that generation it is to tell, from a
+// program of so much memory.
+func NewWatcher(addr string, after int64, memoryMB int, tell Teller, log *slog.Logger) *Watcher {
+	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, tell: tell, log: log,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: waitMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}}}
@@ -73,7 +104,7 @@
 
 // keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
 // generation on, later each time and never in step with other sidecars.
-func (w *watcher) keep(ctx context.Context) {
+func (w *Watcher) keep(ctx context.Context) {
 	wait := waitLeast
 	for ctx.Err() == nil {
 		heard, err := w.watch(ctx)
@@ -95,25 +126,25 @@
 }
 
 // once holds one watch, for a balancer that asks for each.
-func (w *watcher) once(ctx context.Context) {
+func (w *Watcher) once(ctx context.Context) {
 	if _, err := w.watch(ctx); ctx.Err() == nil {
 		w.log.Warn("discovery watch ended", "error", err)
 	}
 }
 
 // watch holds one watch until it ends, and says whether it brought a list.
-func (w *watcher) watch(ctx context.Context) (heard bool, err error) {
+func (w *Watcher) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off leaves the connection open and silent, so our own clock ends it.
-	mute := time.AfterFunc(w.mute, func() { cancel(errors.New("mute")) })
+	mute := time.AfterFunc(w.Mute, func() { cancel(errors.New("mute")) })
 	defer mute.Stop()
-	if w.after == unlisted {
+	if w.after == Unlisted {
 		// Only a whole list tells what the discovery before this one knew and this one does not.
 		if err := w.whole(ctx); err != nil {
 			return false, cmp.Or(context.Cause(ctx), err)
 		}
-		mute.Reset(w.mute)
+		mute.Reset(w.Mute)
 		heard = true
 	}
 	resp, err := w.get(ctx, "?watch=1&after="+strconv.FormatInt(w.after, 10))
@@ -124,7 +155,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, w.lineMost)
 	for lines.Scan() {
-		mute.Reset(w.mute)
+		mute.Reset(w.Mute)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -149,7 +180,7 @@
 }
 
 // whole asks for the whole list.
-func (w *watcher) whole(ctx context.Context) error {
+func (w *Watcher) whole(ctx context.Context) error {
 	resp, err := w.get(ctx, "")
 	if err != nil {
 		return err
@@ -166,7 +197,7 @@
 }
 
 // get asks discovery for its list.
-func (w *watcher) get(ctx context.Context, query string) (*http.Response, error) {
+func (w *Watcher) get(ctx context.Context, query string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/api/targets"+query, nil)
 	if err != nil {
 		return nil, err
@@ -182,57 +213,73 @@
 	return resp, nil
 }
 
-// discovery is the present watcher and its watch: kept for good, or one each time the balancer asks.
-type discovery struct {
-	watch func(w *watcher, ctx context.Context)
+// Source is the present watcher and its watch: kept for good, or one each time it is asked for.
+type Source struct {
+	watch func(w *Watcher, ctx context.Context)
 	ended func() // the watch ended by itself
 
-	mu     sync.Mutex
-	w      *watcher
-	cancel context.CancelFunc // of the watch that is on or being asked for
+	mu      sync.Mutex
+	w       *Watcher
+	cancel  context.CancelFunc // of the watch that is on or being asked for
+	watches sync.WaitGroup
 }
 
-// set asks for the watch, unless it is on or being asked for, or ends it.
-func (d *discovery) set(on bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if on != (d.cancel != nil) {
-		d.setLocked(on)
+// Keep returns a source whose watch, once asked for, is held for good.
+func Keep(w *Watcher) *Source { return &Source{w: w, watch: (*Watcher).keep} }
+
+// Once returns a source that holds one watch each time it is asked to, and calls ended when one has ended by
+// itself.
+func Once(w *Watcher, ended func()) *Source {
+	return &Source{w: w, watch: (*Watcher).once, ended: ended}
+}
+
+// Watch asks for the watch, unless it is on or being asked for, or ends it.
+func (s *Source) Watch(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on != (s.cancel != nil) {
+		s.setLocked(on)
 	}
 }
 
-// move ends the watch and asks another discovery at once, however long the balancer or a watch that broke
+// Move ends the watch and asks another discovery at once, however long the balancer or a watch that broke
 // would have waited. Nothing that the old one told is held against the new one: its generations are its own.
-func (d *discovery) move(w *watcher) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cancel != nil {
-		d.setLocked(false)
+func (s *Source) Move(w *Watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.setLocked(false)
 	}
-	d.w = w
-	d.setLocked(true)
+	s.w = w
+	s.setLocked(true)
+}
+
+// Close ends the watch and waits until it tells nothing more.
+func (s *Source) Close() {
+	s.Watch(false)
+	s.watches.Wait()
 }
 
-func (d *discovery) setLocked(on bool) {
+func (s *Source) setLocked(on bool) {
 	if !on {
-		d.cancel()
-		d.cancel = nil
+		s.cancel()
+		s.cancel = nil
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
-	w := d.w
-	go func() {
-		d.watch(w, ctx)
-		d.mu.Lock()
+	s.cancel = cancel
+	w := s.w
+	s.watches.Go(func() {
+		s.watch(w, ctx)
+		s.mu.Lock()
 		off := ctx.Err() != nil
 		if !off {
 			cancel()
-			d.cancel = nil
+			s.cancel = nil
 		}
-		d.mu.Unlock()
+		s.mu.Unlock()
 		if !off {
-			d.ended()
+			s.ended()
 		}
-	}()
+	})
 }
--- a/internal/sidecar/clients.go
+++ b/internal/front/http1/conns.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
@@ -12,7 +12,8 @@
 	"sync"
 	"time"
 
-	"cottonpond/internal/decide/conns"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/decide/conns"
 )
 
 // client is a client's connection.
@@ -23,10 +24,10 @@
 	place *conns.Conn[*client] // guarded by clients.mu
 }
 
-// clients accepts connections and bounds their number. The sidecar does this itself, not http.Server, since it
+// clients accepts connections and bounds their number. This package does that itself, not http.Server, since it
 // must know what else waits on a connection behind a request, and which connection it can best do without.
 type clients struct {
-	clock clock
+	clock clock.Clock
 	talk  func(*client) // until the connection is to be closed
 	log   *slog.Logger
 
@@ -38,7 +39,7 @@
 	talks   sync.WaitGroup
 }
 
-func newClients(l conns.Limits, clk clock, talk func(*client), log *slog.Logger) (*clients, error) {
+func newClients(l conns.Limits, clk clock.Clock, talk func(*client), log *slog.Logger) (*clients, error) {
 	table, err := conns.New[*client](l)
 	if err != nil {
 		return nil, err
@@ -84,7 +85,7 @@
 	c.r = bufio.NewReader(&c.limit)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	place, spare := k.table.Open(k.clock.now(), k.owner, c)
+	place, spare := k.table.Open(k.clock.Now(), k.owner, c)
 	k.closeLocked(spare)
 	if place == nil {
 		nc.Close() // all others are waiting for their answers
@@ -115,12 +116,12 @@
 }
 
 func (k *clients) expireLocked() {
-	now := k.clock.now()
+	now := k.clock.Now()
 	for {
 		c, next := k.table.Expired(now)
 		if c == nil {
 			if next > 0 {
-				k.idle.Reset(time.Duration(next-now) * time.Microsecond)
+				k.idle.Reset(clock.Duration(next - now))
 			}
 			return
 		}
@@ -139,7 +140,7 @@
 func (k *clients) rest(c *client) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.closeLocked(k.table.Rest(k.clock.now(), c.place))
+	k.closeLocked(k.table.Rest(k.clock.Now(), c.place))
 	k.expireLocked()
 	return !k.closing
 }
--- a/internal/sidecar/server.go
+++ b/internal/front/http1/http1.go
@@ -1,6 +1,10 @@
-package sidecar
+// Package http1 is the HTTP/1.1 front: it takes clients' requests as PROTOCOL describes them, hands them to the
+// core, and gives each its one final answer. It decides nothing of where a request goes; conns.go keeps the
+// connections, whose number package decide/conns bounds.
+package http1
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -16,69 +20,102 @@
 	"syscall"
 	"time"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/site"
+	"dunlinsail/internal/upstream"
 )
 
 // answerMargin is kept from the client's time, so that the final answer reaches it before that is up.
 const answerMargin = 5 * time.Millisecond
 
+// HeaderMost is the most bytes that a request's head may have, and RequestTime how long it may take to arrive
+// whole, from its first byte or the connection's beginning.
 const (
-	headerMost  = 16 << 10
-	requestTime = 2 * time.Second // for a whole request, from its first byte or the connection's beginning
+	HeaderMost  = 16 << 10
+	RequestTime = 2 * time.Second
 )
 
-// server takes clients' requests and gives their answers.
-type server struct {
-	loop    *loop
-	config  *Config
+// Options are what a Front needs.
+type Options struct {
+	Clock  clock.Clock
+	Site   *site.Site
+	Core   *core.Core
+	Limits conns.Limits // of the clients' connections
+	Log    *slog.Logger
+
+	// Send makes an attempt at an endpoint (upstream.Pool.Send).
+	Send func(ctx context.Context, to core.Target, m *upstream.Message, deadline balancer.Micros,
+		mayGo func(now balancer.Micros) bool) core.Reply
+}
+
+// Front takes clients' requests and gives their answers.
+type Front struct {
+	o       Options
 	clients *clients
 	closing atomic.Bool
 }
 
-func newServer(c *Config, l *loop, log *slog.Logger) (*server, error) {
-	s := &server{loop: l, config: c}
+// New returns a front, or the error of limits that make no sense.
+func New(o Options) (*Front, error) {
+	f := &Front{o: o}
 	var err error
-	s.clients, err = newClients(c.clientLimits(), l.clock, s.talk, log)
-	return s, err
+	f.clients, err = newClients(o.Limits, o.Clock, f.talk, o.Log)
+	return f, err
+}
+
+// Accept serves connections until ln is closed.
+func (f *Front) Accept(ln net.Listener) error { return f.clients.accept(ln) }
+
+// Quiesce has each answer from now on close its connection, and closes the connections without an open request.
+// It may be called again, for those that have come meanwhile.
+func (f *Front) Quiesce() {
+	f.closing.Store(true)
+	f.clients.hush()
 }
 
+// Wait waits until all connections have ended.
+func (f *Front) Wait() { f.clients.talks.Wait() }
+
 // talk serves a connection, one request at a time.
-func (s *server) talk(c *client) {
-	until := time.Now().Add(requestTime)
-	for s.exchange(c, until) {
+func (f *Front) talk(c *client) {
+	until := time.Now().Add(RequestTime)
+	for f.exchange(c, until) {
 		until = time.Time{}
 	}
 }
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
 // gives its answer. It says whether the connection may serve another.
-func (s *server) exchange(c *client, until time.Time) bool {
-	c.limit.N = headerMost
+func (f *Front) exchange(c *client, until time.Time) bool {
+	c.limit.N = HeaderMost
 	if until.IsZero() {
 		c.SetReadDeadline(time.Time{}) // until it is closed for having rested too long
 		if _, err := c.r.Peek(1); err != nil {
 			return false
 		}
-		until = time.Now().Add(requestTime)
+		until = time.Now().Add(RequestTime)
 	}
 	c.SetReadDeadline(until)
 	r, err := http.ReadRequest(c.r)
-	at := s.loop.clock.now()
+	at := f.o.Clock.Now()
 	if err != nil {
-		if code := s.unreadable(c, err); code != 0 {
+		if code := f.unreadable(c, err); code != 0 {
 			c.turnAway(code, http.StatusText(code))
 		}
 		return false
 	}
 	if r.URL.Path == "/-/ready" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
 		a := newResponse(http.StatusOK, "ready")
-		if s.closing.Load() || !s.loop.ready.Load() {
+		if f.closing.Load() || !f.o.Core.Ready() {
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
-		last := r.Close || s.closing.Load()
-		return s.clients.take(c) && c.write(a, last) && s.clients.rest(c) && !last
+		last := r.Close || f.closing.Load()
+		return f.clients.take(c) && c.write(a, last) && f.clients.rest(c) && !last
 	}
-	k, err := s.parse(c, r, at)
+	k, err := f.parse(c, r, at)
 	if err != nil {
 		code := http.StatusBadRequest
 		if bad := (*badRequest)(nil); errors.As(err, &bad) {
@@ -87,21 +124,21 @@
 		c.turnAway(code, err.Error())
 		return false
 	}
-	if !s.clients.take(c) {
+	if !f.clients.take(c) {
 		return false
 	}
 	gone := c.watch()
-	s.loop.arrived(k)
+	f.o.Core.Submit(k)
 	select {
-	case a := <-k.answer:
+	case a := <-k.Answer:
 		c.SetReadDeadline(past)
 		if err := <-gone; err == nil {
 			c.turnAway(http.StatusBadRequest, surplus)
 			return false
 		}
-		return s.answer(c, a, r.Close)
+		return f.answer(c, a, r.Close)
 	case err := <-gone:
-		s.loop.left(k)
+		f.o.Core.Leave(k)
 		if err == nil {
 			c.turnAway(http.StatusBadRequest, surplus)
 		}
@@ -112,11 +149,11 @@
 const surplus = "more was sent than the request's length tells"
 
 // unreadable returns the code for what is no request, 0 if the client has sent nothing or has gone.
-func (s *server) unreadable(c *client, err error) int {
+func (f *Front) unreadable(c *client, err error) int {
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		if c.limit.N == headerMost {
+		if c.limit.N == HeaderMost {
 			return 0
 		}
 		return http.StatusRequestTimeout
@@ -129,30 +166,31 @@
 }
 
 // answer gives the final answer, and says whether the connection may serve another request.
-func (s *server) answer(c *client, a answer, last bool) bool {
+func (f *Front) answer(c *client, a core.Answer, last bool) bool {
 	var r *response
-	switch a.verdict {
-	case served:
-		r = &response{code: http.StatusOK, header: http.Header{}, body: a.reply.body}
-		for k, v := range a.reply.header {
-			if !hopByHop(k, a.reply.header) && k != "Endpoint-Load-Metrics" {
+	switch a.Verdict {
+	case core.Served:
+		from := a.Reply.Answer.(*upstream.Answer)
+		r = &response{code: http.StatusOK, header: http.Header{}, body: from.Body}
+		for k, v := range from.Header {
+			if !hopByHop(k, from.Header) && k != "Endpoint-Load-Metrics" {
 				r.header[k] = v
 			}
 		}
-	case refused:
+	case core.Refused:
 		r = newResponse(http.StatusServiceUnavailable, "refused: try again later")
-		if a.retryAfter > 0 {
-			r.header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		if a.RetryAfter > 0 {
+			r.header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 		}
-	case idOpen:
+	case core.IDOpen:
 		r = newResponse(http.StatusConflict, "a request with this X-Trace-Id is open")
-	case failedLate:
+	case core.FailedLate:
 		r = newResponse(http.StatusGatewayTimeout, "no answer in time")
 	default:
 		r = newResponse(http.StatusBadGateway, "failed")
 	}
-	last = last || s.closing.Load() || a.verdict == idOpen
-	return c.write(r, last) && s.clients.rest(c) && !last
+	last = last || f.closing.Load() || a.Verdict == core.IDOpen
+	return c.write(r, last) && f.clients.rest(c) && !last
 }
 
 // badRequest says why a request is not taken.
@@ -168,15 +206,15 @@
 }
 
 // parse reads the rest of a request and says what is wrong with it.
-func (s *server) parse(conn *client, r *http.Request, at balancer.Micros) (*call, error) {
+func (f *Front) parse(conn *client, r *http.Request, at balancer.Micros) (*core.Call, error) {
 	switch {
 	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
 		return nil, bad(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
 	case len(r.TransferEncoding) > 0:
 		// A reader that goes by the one header may find a request in what is a body by the other.
 		return nil, bad(http.StatusLengthRequired, "a Content-Length only")
-	case r.ContentLength > bodyMost:
-		return nil, bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", bodyMost)
+	case r.ContentLength > site.BodyMost:
+		return nil, bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", site.BodyMost)
 	case !strings.HasPrefix(r.RequestURI, "/"):
 		return nil, bad(http.StatusBadRequest, "the target must be a path")
 	case !visible(r.Host):
@@ -192,7 +230,7 @@
 	if name == "" {
 		name = first
 	}
-	class := slices.Index(s.config.Classes, name)
+	class := slices.Index(f.o.Site.Classes, name)
 	if class < 0 {
 		return nil, bad(http.StatusNotFound, "unknown class %q", name)
 	}
@@ -203,7 +241,7 @@
 	if id == "" {
 		return nil, bad(http.StatusBadRequest, "X-Trace-Id is missing")
 	}
-	settings := &s.config.Settings.Classes[class]
+	settings := &f.o.Site.Settings.Classes[class]
 	method := http.MethodPost
 	if settings.Repeat == balancer.Safe {
 		method = http.MethodGet
@@ -225,22 +263,26 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	c := &call{id: id, answer: make(chan answer, 1), in: balancer.Request{Class: uint8(class), Tenant: s.tenant(r),
+	c := &core.Call{ID: id, Answer: make(chan core.Answer, 1), In: balancer.Request{Class: uint8(class), Tenant: f.tenant(r),
 		Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
 		Deadline: at + left - answerMargin.Microseconds()}}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		c.in.Hint, c.in.HasHint = hint, true
+		c.In.Hint, c.In.HasHint = hint, true
 	}
 	body, err := conn.body(r)
 	if err != nil {
 		return nil, err
 	}
-	c.out = message{method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{}, body: body}
+	out := &upstream.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{}, Body: body}
 	for k, v := range r.Header {
 		if !hopByHop(k, r.Header) && k != "X-Expires-In-Ms" {
-			c.out.header[k] = v
+			out.Header[k] = v
 		}
 	}
+	c.Attempt = func(ctx context.Context, to core.Target, deadline balancer.Micros,
+		mayGo func(now balancer.Micros) bool) core.Reply {
+		return f.o.Send(ctx, to, out, deadline, mayGo)
+	}
 	return c, nil
 }
 
@@ -272,8 +314,8 @@
 }
 
 // tenant returns the tenant's place in the settings, or one past all places.
-func (s *server) tenant(r *http.Request) uint16 {
-	if i := slices.Index(s.config.Tenants, r.Header.Get("X-Customer")); i >= 0 {
+func (f *Front) tenant(r *http.Request) uint16 {
+	if i := slices.Index(f.o.Site.Tenants, r.Header.Get("X-Customer")); i >= 0 {
 		return uint16(i)
 	}
 	return math.MaxUint16
--- a/internal/sidecar/config.go
+++ b/internal/platform/platform.go
@@ -1,9 +1,6 @@
-// Package sidecar runs the decisions of package balancer on real sockets.
-//
-// One goroutine (loop.go) owns the balancer. Clients come in through server.go, attempts and probes
-// go out through upstream.go, the list of endpoints comes from discovery.go, and sidecar.go starts
-// and stops them. No file but loop.go calls the balancer, and loop.go does no I/O.
-package sidecar
+// Package platform reads the configuration that the platform gives a sidecar (DEPLOY): JSON in the file that
+// ROUTER_CONFIG names, with ROUTER_ variables before it.
+package platform
 
 import (
 	"bytes"
@@ -19,9 +16,10 @@
 	"strings"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/decide/conns"
-	"cottonpond/internal/wire"
+	"dunlinsail/balancer"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/site"
+	"dunlinsail/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
@@ -32,18 +30,10 @@
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int // file descriptors
-	Known     List
+	Known     discovery.List
+	Site      site.Site
 
-	Settings  balancer.Settings
-	Classes   []string // names as on the sockets, in the order of the settings
-	Tenants   []string
-	Zones     []string
-	Kinds     []string
-	Fields    []string      // of a load report
-	OnAnswers bool          // answers carry load reports, too
-	KeepAlive time.Duration // an endpoint closes a connection idle for so long
-
-	fileDiscovery string // as the file alone names it
+	FileDiscovery string // as the file alone names it
 }
 
 // ConfigError names the part of the configuration that makes no sense.
@@ -61,36 +51,14 @@
 const (
 	defaultMemoryMB  = 192
 	defaultSockets   = 1024
-	leastSockets     = 64
 	defaultKeepAlive = 15 * time.Second
 )
 
-// ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listener, the
-// runtime, calls of discovery, the file of the configuration.
-const ownSockets = 16
-
-const (
-	// restPart of the descriptors, at most, are clients' connections without an open request. The machine of the
-	// clients has limits of its own, and every connection that we keep at rest is one that they cannot open anew:
-	// with half of the descriptors for such, clients that asked once and stayed held all that the usual ones
-	// needed, and their requests never came (incident r412b9a).
-	restPart  = 6
-	idleMost  = 15 * time.Second // between requests, while no other connection rests
-	idleLeast = 100 * time.Millisecond
-)
-
-// clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
-// connections to endpoints: an open request has one of each, and probes and second attempts want more.
-func (c *Config) clientLimits() conns.Limits {
-	return conns.Limits{Total: (c.Sockets - ownSockets) / 2, AtRest: (c.Sockets - ownSockets) / restPart,
-		IdleMost: idleMost.Microseconds(), IdleLeast: idleLeast.Microseconds()}
-}
-
-// upstreamConns is how many connections to endpoints may be open.
-func (c *Config) upstreamConns() int { return c.Sockets - ownSockets - c.clientLimits().Total }
+// LeastSockets is how few descriptors a sidecar may be given.
+const LeastSockets = 64
 
-// ReadConfig reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
-func ReadConfig(getenv func(string) string) (*Config, error) {
+// Read reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
+func Read(getenv func(string) string) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return nil, &ConfigError{"ROUTER_CONFIG", errors.New("is not set")}
@@ -99,14 +67,15 @@
 	if err != nil {
 		return nil, &ConfigError{"ROUTER_CONFIG", err}
 	}
-	c, err := parseConfig(text, getenv)
+	c, err := Parse(text, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+// Parse reads the text of a configuration. Its errors name the key.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -116,7 +85,7 @@
 			MemoryMB *int `json:"memory_mb"`
 			Sockets  *int `json:"sockets"`
 		} `json:"limits"`
-		Known    *List           `json:"known"`
+		Known    *discovery.List `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
@@ -126,7 +95,7 @@
 		}
 		return nil, &ConfigError{key, err}
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, fileDiscovery: file.Discovery,
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, FileDiscovery: file.Discovery,
 		MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	for name, to := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery} {
@@ -135,7 +104,7 @@
 		}
 	}
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
-		{"discovery", cmp.Or(c.fileDiscovery, c.Discovery)}} {
+		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return nil, &ConfigError{a.key, err}
 		}
@@ -150,8 +119,8 @@
 		}
 	}
 	if v := file.Limits.Sockets; v != nil {
-		if c.Sockets = *v; *v < leastSockets {
-			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, leastSockets)}
+		if c.Sockets = *v; *v < LeastSockets {
+			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, LeastSockets)}
 		}
 	}
 	if file.Known != nil {
@@ -194,28 +163,29 @@
 	if err != nil {
 		return &ConfigError{"settings", err}
 	}
-	if c.Settings, err = wire.ParseSettings(text); err == nil {
-		err = c.Settings.Validate()
+	to := &c.Site
+	if to.Settings, err = wire.ParseSettings(text); err == nil {
+		err = to.Settings.Validate()
 	}
 	if err != nil {
 		return &ConfigError{"settings", err} // its message names the key
 	}
-	c.Zones, c.Kinds = names.Areas, names.Skus
+	to.Zones, to.Kinds = names.Areas, names.Skus
 	for i, class := range names.Classes {
 		if class.Name == "" {
 			return &ConfigError{fmt.Sprintf("settings.classes.%d.name", i), errors.New("is missing")}
 		}
-		c.Classes = append(c.Classes, class.Name)
+		to.Classes = append(to.Classes, class.Name)
 	}
 	for _, t := range names.Tenants {
-		c.Tenants = append(c.Tenants, t.Name)
+		to.Tenants = append(to.Tenants, t.Name)
 	}
 	if names.Reporting.How != "none" {
-		c.Fields = names.Reporting.Fields
+		to.Fields = names.Reporting.Fields
 	}
-	c.OnAnswers = names.Reporting.How == "answers"
-	if c.KeepAlive = time.Duration(names.Limits.KeepAlive) * time.Microsecond; c.KeepAlive <= 0 {
-		c.KeepAlive = defaultKeepAlive
+	to.OnAnswers = names.Reporting.How == "answers"
+	if to.KeepAlive = time.Duration(names.Limits.KeepAlive) * time.Microsecond; to.KeepAlive <= 0 {
+		to.KeepAlive = defaultKeepAlive
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// settings is a small site.
+const settings = `{"peers-total":1,"areas":["a","b"],"skus":["m1"],"discovery":"automatic",
+	"classes":[
+	{"name":"look","repeat":"pure","target":500000,"give-up":1000000,"credit":1.0},
+	{"name":"book","repeat":"token","group":"cell","window":400000,"target":500000,"give-up":1000000,"credit":5.0},
+	{"name":"pay","repeat":"side_effect","target":500000,"give-up":1000000,"credit":5.0}],
+	"contract":{"drain-grace":250000}}`
+
+// A value that makes no sense stops the start with a message that names its key.
+func TestConfigErrors(t *testing.T) {
+	good := func() map[string]any {
+		return map[string]any{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+			"limits": map[string]any{}, "settings": json.RawMessage(settings)}
+	}
+	none := func(string) string { return "" }
+	for _, tc := range []struct {
+		key   string
+		value any
+		want  string
+	}{
+		{"listen", "nowhere", "listen"},
+		{"discovery", 7, "discovery"},
+		{"seed", "xyz", "seed"},
+		{"limits", map[string]any{"memory_mb": -1}, "limits.memory_mb"},
+		{"limits", map[string]any{"sockets": 3}, "limits.sockets"},
+		{"limits", map[string]any{"sockets": "many"}, "limits.sockets"},
+		{"known", map[string]any{"instances": 3}, "known.instances"},
+		{"settings", map[string]any{"classes": []any{}}, "settings"},
+		{"settings", map[string]any{"classes": []any{map[string]any{"name": "a", "target": "x", "give-up": 1,
+			"repeat": "pure"}}}, "classes.0.target"},
+		{"settings", map[string]any{"areas": "a"}, "settings.areas"},
+	} {
+		file := good()
+		file[tc.key] = tc.value
+		text, err := json.Marshal(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(text, none); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s = %v: error %v, want one that names %s", tc.key, tc.value, err, tc.want)
+		}
+	}
+	text, err := json.Marshal(good())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse(text, func(name string) string {
+		return map[string]string{"ROUTER_NAME": "n9", "ROUTER_LISTEN": "127.0.0.9:1"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(c.Name, c.Listen, c.Discovery, c.Seed, c.Site.Classes, c.Site.Settings.Contract.DrainGrace); got != "n9127.0.0.9:1127.0.0.1:131 [look book pay] 250000" {
+		t.Errorf("read as %s", got)
+	}
+}
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/standin/peer"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,9 +20,6 @@
 	"time"
 )
 
-// soon bounds every wait of these tests for something that must come.
-const soon = 5 * time.Second
-
 // settings is a small site without probes: a safe class, a keyed one and an unsafe one.
 const settings = `{"peers-total":1,"areas":["a","b"],"skus":["m1"],"discovery":"automatic",
 	"classes":[
@@ -35,55 +34,62 @@
 	"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
 
 // configure makes a configuration, with edits to the settings as pairs of old and new text.
-func configure(t *testing.T, discovery string, known []Instance, edits ...string) *Config {
+func configure(t *testing.T, addr string, known []discovery.Instance, edits ...string) *platform.Config {
 	t.Helper()
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": addr,
 		"seed": "8c1f30d27a5be964", "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
-		"known":    List{Generation: 7, Reset: true, Instances: known},
+		"known":    discovery.List{Generation: 7, Reset: true, Instances: known},
 		"settings": json.RawMessage(strings.NewReplacer(edits...).Replace(settings))})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := parseConfig(text, func(string) string { return "" })
+	c, err := platform.Parse(text, func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	return c
 }
 
-func up(id, addr string) Instance {
-	return Instance{ID: id, Addr: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
-}
-
 // running is a sidecar under test.
 type running struct {
+	parts *sidecar
 	addr  string
 	stop  context.CancelFunc
 	ended chan error
 
 	reload chan os.Signal
-	config chan *Config // what is read at a reload; nil is an error
+	config chan *platform.Config // what is read at a reload; nil is an error
 }
 
 // start runs a sidecar and waits until it is ready. It is stopped with the test.
-func start(t *testing.T, c *Config) *running {
+func start(t *testing.T, c *platform.Config) *running {
+	t.Helper()
+	return startDialing(t, c, nil)
+}
+
+// startDialing does so with a dial of the test's own.
+func startDialing(t *testing.T, c *platform.Config, dial func(context.Context, string, string) (net.Conn, error)) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
+	parts, err := assemble(c, dial, peer.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &running{addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
-		reload: make(chan os.Signal, 1), config: make(chan *Config, 1)}
+	s := &running{parts: parts, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
+		reload: make(chan os.Signal, 1), config: make(chan *platform.Config, 1)}
 	go func() {
-		s.ended <- serve(ctx, c, ln, s.reload, s.read, quiet)
+		s.ended <- parts.serve(ctx, ln, s.reload, s.read)
 		close(s.ended)
 	}()
 	t.Cleanup(func() {
 		stop()
 		<-s.ended
 	})
-	for end := time.Now().Add(soon); ; {
+	for end := time.Now().Add(peer.Soon); ; {
 		resp, err := http.Get("http://" + s.addr + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -97,65 +103,14 @@
 	}
 }
 
-func (s *running) read() (*Config, error) {
+func (s *running) read() (*platform.Config, error) {
 	if c := <-s.config; c != nil {
 		return c, nil
 	}
 	return nil, errors.New("no sense")
 }
 
-var quiet = slog.New(slog.DiscardHandler)
-
-// nowhere is an address that refuses connections.
-func nowhere(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln.Close()
-	return ln.Addr().String()
-}
-
-// web starts an endpoint that speaks plain HTTP.
-func web(t *testing.T, h http.HandlerFunc) string {
-	t.Helper()
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
-}
-
-// raw starts an endpoint whose connections are handled by hand, and closed when the handler returns.
-func raw(t *testing.T, handle func(c *net.TCPConn, r *bufio.Reader)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				handle(c.(*net.TCPConn), bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// take reads a whole request.
-func take(r *bufio.Reader) (*http.Request, error) {
-	req, err := http.ReadRequest(r)
-	if err == nil {
-		_, err = io.Copy(io.Discard, req.Body)
-	}
-	return req, err
-}
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // look makes a request of the safe class.
 func look(ms int) *http.Request { return request("GET", "/look/1", "look", ms, "") }
@@ -193,7 +148,7 @@
 	if err := r.Write(c); err != nil {
 		t.Fatal(err)
 	}
-	c.SetReadDeadline(time.Now().Add(soon))
+	c.SetReadDeadline(time.Now().Add(peer.Soon))
 	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
@@ -204,17 +159,3 @@
 	}
 	return resp, string(body)
 }
-
-// within returns what comes on a channel, and fails the test if nothing does.
-func within[T any](t *testing.T, ch <-chan T, what string) T {
-	t.Helper()
-	select {
-	case v := <-ch:
-		return v
-	case <-time.After(soon):
-		t.Fatalf("%s: nothing came", what)
-		panic("unreachable")
-	}
-}
-
-func contains(err error, text string) bool { return strings.Contains(err.Error(), text) }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
+
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/platform"
 )
 
 // reloads reads the configuration again at each signal, until ctx ends, and moves to the discovery that its
 // file names anew. ROUTER_DISCOVERY goes before the file at the start only, or no new file could ever name
 // another. All else in the file takes effect at the next start. A file that makes no sense changes nothing.
-func reloads(ctx context.Context, c *Config, signals <-chan os.Signal, read func() (*Config, error),
-	move func(addr string), log *slog.Logger) {
+func (s *sidecar) reloads(ctx context.Context, signals <-chan os.Signal, read func() (*platform.Config, error)) {
+	c := s.config
 	for {
 		select {
 		case <-signals:
@@ -19,14 +21,14 @@
 		}
 		next, err := read()
 		if err != nil {
-			log.Error("configuration not read again, the old one is kept", "error", err)
+			s.log.Error("configuration not read again, the old one is kept", "error", err)
 			continue
 		}
-		moved := next.fileDiscovery != c.fileDiscovery && next.fileDiscovery != ""
+		moved := next.FileDiscovery != c.FileDiscovery && next.FileDiscovery != ""
 		c = next
-		log.Info("configuration read again", "moved", moved, "discovery", c.fileDiscovery)
+		s.log.Info("configuration read again", "moved", moved, "discovery", c.FileDiscovery)
 		if moved {
-			move(c.fileDiscovery)
+			s.source.Move(s.watcher(c.FileDiscovery, discovery.Unlisted))
 		}
 	}
 }
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -1,6 +1,10 @@
 package sidecar
 
 import (
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/peer"
 	"io"
 	"net/http"
 	"syscall"
@@ -14,23 +18,23 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		t.Run(mode, func(t *testing.T) {
 			endpoint := func(name string) string {
-				return web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+				return peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 			}
-			one, two, three := up("s-1", endpoint("one")), up("s-2", endpoint("two")), up("s-3", endpoint("three"))
-			for _, in := range []*Instance{&one, &two, &three} {
+			one, two, three := board.Up("s-1", endpoint("one")), board.Up("s-2", endpoint("two")), board.Up("s-3", endpoint("three"))
+			for _, in := range []*discovery.Instance{&one, &two, &three} {
 				in.StartedMs = 1 // long ago: a cold endpoint may be spared
 			}
-			configured := func(discovery string) *Config {
-				return configure(t, discovery, []Instance{one}, `"discovery":"automatic"`, `"discovery":"`+mode+`"`)
+			configured := func(addr string) *platform.Config {
+				return configure(t, addr, []discovery.Instance{one}, `"discovery":"automatic"`, `"discovery":"`+mode+`"`)
 			}
-			old, next := newBoard(t), newBoard(t)
+			old, next := board.New(t), board.New(t)
 			// As with ROUTER_DISCOVERY: the start goes by it, a file that changes goes before it.
-			c := configured(nowhere(t))
-			c.Discovery = old.addr
+			c := configured(peer.Nowhere(t))
+			c.Discovery = old.Addr
 			s := start(t, c)
-			expect := func(b *board, want string) {
+			expect := func(b *board.Board, want string) {
 				t.Helper()
-				if got := within(t, b.after, "call of discovery"); got != want {
+				if got := peer.Within(t, b.After, "call of discovery"); got != want {
 					t.Errorf("asked with %q, want %q", got, want)
 				}
 			}
@@ -38,20 +42,20 @@
 
 			// What makes no sense and what names nothing new leave the watch alone.
 			same := *c
-			for _, c := range []*Config{nil, &same} {
+			for _, c := range []*platform.Config{nil, &same} {
 				s.reload <- syscall.SIGHUP
 				s.config <- c
 			}
-			old.lines <- line(9, true, one, two)
+			old.Lines <- board.Line(9, true, one, two)
 
 			s.reload <- syscall.SIGHUP
-			s.config <- configured(next.addr)
+			s.config <- configured(next.Addr)
 			expect(next, " ")
-			next.lines <- line(3, false, two)
-			next.lines <- ""
+			next.Lines <- board.Line(3, false, two)
+			next.Lines <- ""
 			expect(next, "1 3")
 			s.serves(t, "two")
-			next.lines <- line(4, true, three)
+			next.Lines <- board.Line(4, true, three)
 			s.serves(t, "three")
 		})
 	}
@@ -60,7 +64,7 @@
 // serves waits until only the endpoint of this name answers.
 func (s *running) serves(t *testing.T, want string) {
 	t.Helper()
-	for end, times := time.Now().Add(soon), 0; times < 5; {
+	for end, times := time.Now().Add(peer.Soon), 0; times < 5; {
 		_, got := s.ask(t, look(900))
 		if times++; got != want {
 			times = 0
@@ -73,15 +77,15 @@
 
 // Configurations may come while the sidecar stops.
 func TestReloadWhileStopping(t *testing.T) {
-	b := newBoard(t)
-	addr := web(t, func(http.ResponseWriter, *http.Request) {})
-	c := configure(t, nowhere(t), []Instance{up("s-1", addr)})
+	b := board.New(t)
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
+	c := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
 	s := start(t, c)
 	s.stop()
 	s.reload <- syscall.SIGHUP
-	s.config <- configure(t, b.addr, nil)
-	within(t, b.after, "call of discovery")
-	if err := within(t, s.ended, "end"); err != nil {
+	s.config <- configure(t, b.Addr, nil)
+	peer.Within(t, b.After, "call of discovery")
+	if err := peer.Within(t, s.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -3,6 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/site"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/peer"
 	"fmt"
 	"io"
 	"net"
@@ -22,7 +28,7 @@
 		body string
 	}
 	got := make(chan seen, 64)
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		got <- seen{r, string(b)}
 		if w.Header()["Content-Type"] = nil; r.Method == "GET" {
@@ -31,11 +37,11 @@
 		w.Header().Set("Endpoint-Load-Metrics", "TEXT busy_reqs=1")
 		io.WriteString(w, "\x00card "+string(b))
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	for _, r := range []*http.Request{
 		look(480),
 		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
-		request("POST", "/book", "book", 480, strings.Repeat("b", bodyMost-6)), // the answer is as large as one may be
+		request("POST", "/book", "book", 480, strings.Repeat("b", site.BodyMost-6)), // the answer is as large as one may be
 		request("POST", "/pay?p=1", "pay", 480, ""),
 	} {
 		body, _ := io.ReadAll(r.Body)
@@ -73,8 +79,8 @@
 // What makes no sense gets a plain 4xx, and no endpoint hears of it.
 func TestBadRequests(t *testing.T) {
 	var sent atomic.Int32
-	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	without := func(r *http.Request, header string) *http.Request {
 		r.Header.Del(header)
 		return r
@@ -94,10 +100,10 @@
 		{"no id", without(look(400), "X-Trace-Id"), 400},
 		{"keyed without key", without(request("POST", "/book", "book", 400, "x"), "Idempotency-Key"), 400},
 		{"wrong method", request("POST", "/look", "look", 400, "x"), 405},
-		{"time in words", with(look(400), "X-Expires-In-Ms", "soon"), 400},
+		{"time in words", with(look(400), "X-Expires-In-Ms", "peer.Soon"), 400},
 		{"negative time", look(-1), 400},
-		{"large body", request("POST", "/pay", "pay", 400, strings.Repeat("x", bodyMost+1)), 413},
-		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*headerMost)), 431},
+		{"large body", request("POST", "/pay", "pay", 400, strings.Repeat("x", site.BodyMost+1)), 413},
+		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*http1.HeaderMost)), 431},
 	} {
 		if resp, _ := s.ask(t, tc.r); resp.StatusCode != tc.want {
 			t.Errorf("%s: %s, want %d", tc.name, resp.Status, tc.want)
@@ -112,7 +118,7 @@
 	for _, tc := range []struct{ name, text, want string }{
 		{"no HTTP", "LOOK\r\n\r\n", "400"},
 		{"old HTTP", "GET /look HTTP/1.0\r\nX-Trace-Id: 1\r\n\r\n", "505"},
-		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", headerMost), "431"},
+		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", http1.HeaderMost), "431"},
 		{"hidden request", head("Content-Length: 5", "Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "411"},
 		{"chunks", head("Transfer-Encoding: chunked") + chunked, "411"},
 		{"old chunks", strings.Replace(head("Content-Length: 5", "Transfer-Encoding: chunked"), "1.1", "1.0", 1) + chunked, "505"},
@@ -143,7 +149,7 @@
 			t.Fatal(err)
 		}
 		io.WriteString(c, tc.text)
-		c.SetReadDeadline(time.Now().Add(requestTime / 2))
+		c.SetReadDeadline(time.Now().Add(http1.RequestTime / 2))
 		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+tc.want+" ") ||
 			strings.Count(string(got), "HTTP/1.1") != 1 {
 			t.Errorf("%s: answered %q, %v, want one %s and the end", tc.name, got, err, tc.want)
@@ -185,11 +191,11 @@
 		{"no connection, unsafe", nil, "pay", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := nowhere(t)
+			addr := peer.Nowhere(t)
 			if tc.h != nil {
-				addr = web(t, tc.h)
+				addr = peer.Web(t, tc.h)
 			}
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 			method := "POST"
 			if tc.class == "look" {
 				method = "GET"
@@ -227,15 +233,15 @@
 			var copies atomic.Int32
 			// The first to be asked breaks its connection after reading the request.
 			endpoint := func() string {
-				return raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-					if _, err := take(r); err == nil && copies.Add(1) > 1 {
+				return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := peer.Take(r); err == nil && copies.Add(1) > 1 {
 						io.WriteString(c, okAnswer)
 					}
 				})
 			}
-			other := up("s-2", endpoint())
+			other := board.Up("s-2", endpoint())
 			other.Cell = tc.cell
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", endpoint()), other}))
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint()), other}))
 			resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
 			if n := copies.Load(); n > tc.mostCopies {
 				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
@@ -250,14 +256,14 @@
 // An endpoint that is mute must not keep the client waiting past its time, nor the connection open.
 func TestDeadline(t *testing.T) {
 	ended := make(chan error, 3)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := take(r); err != nil {
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := peer.Take(r); err != nil {
 			return
 		}
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	for _, tc := range []struct {
 		class string
 		want  int
@@ -267,7 +273,7 @@
 		if took := time.Since(begun); took > 200*time.Millisecond || resp.StatusCode != tc.want {
 			t.Errorf("%s: %s after %v, want %d within 200 ms", tc.class, resp.Status, took, tc.want)
 		}
-		if err := within(t, ended, "end of the attempt"); err != io.EOF {
+		if err := peer.Within(t, ended, "end of the attempt"); err != io.EOF {
 			t.Errorf("%s: the endpoint read on: %v", tc.class, err)
 		}
 	}
@@ -280,13 +286,13 @@
 // A client that goes takes its attempt with it.
 func TestClientGone(t *testing.T) {
 	taken, ended := make(chan struct{}), make(chan error, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		peer.Take(r)
 		close(taken)
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
+	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -295,9 +301,9 @@
 	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
 		t.Fatal(err)
 	}
-	within(t, taken, "attempt")
+	peer.Within(t, taken, "attempt")
 	c.Close()
-	if err := within(t, ended, "end of the attempt"); err != io.EOF {
+	if err := peer.Within(t, ended, "end of the attempt"); err != io.EOF {
 		t.Errorf("the endpoint read on: %v", err)
 	}
 }
@@ -305,11 +311,11 @@
 // Requests over the settings' limit never ran.
 func TestMostOpen(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := web(t, func(http.ResponseWriter, *http.Request) {
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
 	first := make(chan int)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -320,12 +326,12 @@
 		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 		first <- resp.StatusCode
 	}()
-	within(t, taken, "first attempt")
+	peer.Within(t, taken, "first attempt")
 	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
 		t.Errorf("second: %s, want 503", resp.Status)
 	}
 	close(release)
-	if code := within(t, first, "first answer"); code != 200 {
+	if code := peer.Within(t, first, "first answer"); code != 200 {
 		t.Errorf("first: %d, want 200", code)
 	}
 	if len(taken) != 0 {
@@ -337,14 +343,14 @@
 // sidecar a descriptor that it needs.
 func TestMostConnections(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := web(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := peer.Web(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
-	cfg.Sockets = leastSockets
+	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
+	cfg.Sockets = platform.LeastSockets
 	s := start(t, cfg)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", s.addr)
@@ -360,9 +366,9 @@
 		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 		waiting <- resp.StatusCode
 	}()
-	within(t, taken, "attempt")
+	peer.Within(t, taken, "attempt")
 	var silent []net.Conn
-	for range 2 * cfg.clientLimits().Total {
+	for range 2 * clientLimits(cfg.Sockets).Total {
 		silent = append(silent, dial())
 	}
 	kept := dial()
@@ -372,7 +378,7 @@
 		}
 	}
 	first := silent[0]
-	first.SetReadDeadline(time.Now().Add(requestTime / 2))
+	first.SetReadDeadline(time.Now().Add(http1.RequestTime / 2))
 	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the connection silent for longest: %v, want it closed", err)
 	}
@@ -381,18 +387,18 @@
 		t.Errorf("a connection silent for a moment: %s", resp.Status)
 	}
 	close(release)
-	if code := within(t, waiting, "answer"); code != 200 {
+	if code := peer.Within(t, waiting, "answer"); code != 200 {
 		t.Errorf("the request that waited meanwhile: %d", code)
 	}
 }
 
 // Endpoints that answer in a fraction of a millisecond are not refused for being fast.
 func TestFastEndpoints(t *testing.T) {
-	var known []Instance
+	var known []discovery.Instance
 	for i := range 4 {
-		known = append(known, up(fmt.Sprint("s-", i), web(t, func(http.ResponseWriter, *http.Request) {})))
+		known = append(known, board.Up(fmt.Sprint("s-", i), peer.Web(t, func(http.ResponseWriter, *http.Request) {})))
 	}
-	s := start(t, configure(t, nowhere(t), known))
+	s := start(t, configure(t, peer.Nowhere(t), known))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -409,21 +415,21 @@
 // while those whose requests are open may take all that there are for clients (incident r412b9a).
 func TestRestingConnections(t *testing.T) {
 	taken, release := make(chan struct{}, 64), make(chan struct{})
-	addr := web(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := peer.Web(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
 	free := sync.OnceFunc(func() { close(release) })
-	t.Cleanup(free)     // or the endpoint could not be closed
-	var many []Instance // or one would seem overrun
+	t.Cleanup(free)               // or the endpoint could not be closed
+	var many []discovery.Instance // or one would seem overrun
 	for i := range 64 {
-		many = append(many, up(fmt.Sprint("s-", i), addr))
+		many = append(many, board.Up(fmt.Sprint("s-", i), addr))
 	}
-	cfg := configure(t, nowhere(t), many)
-	cfg.Sockets = 2 * leastSockets
-	limits := cfg.clientLimits()
+	cfg := configure(t, peer.Nowhere(t), many)
+	cfg.Sockets = 2 * platform.LeastSockets
+	limits := clientLimits(cfg.Sockets)
 	if 4*limits.AtRest > cfg.Sockets {
 		t.Fatalf("%d of %d descriptors may rest: not well under the third that clients have", limits.AtRest, cfg.Sockets)
 	}
@@ -446,7 +452,7 @@
 	}
 	// The earliest are closed at once, not after the idle time.
 	for i, c := range stayed[:limits.AtRest] {
-		c.SetReadDeadline(time.Now().Add(soon))
+		c.SetReadDeadline(time.Now().Add(peer.Soon))
 		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
 			t.Fatalf("connection %d: %v, want it closed", i, err)
 		}
@@ -464,11 +470,11 @@
 			resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 			codes <- resp.StatusCode
 		}()
-		within(t, taken, "an attempt of each that is open")
+		peer.Within(t, taken, "an attempt of each that is open")
 	}
 	free()
 	for range limits.Total {
-		if code := within(t, codes, "answer"); code != 200 {
+		if code := peer.Within(t, codes, "answer"); code != 200 {
 			t.Errorf("of those open together: %d", code)
 		}
 	}
@@ -477,8 +483,8 @@
 // Whoever sends no whole request is told so or cut off within 3 s, before another reading and before the
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
-	addr := web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	for _, text := range []string{
 		"",
 		"GET /look/1 HT",
@@ -505,11 +511,11 @@
 // Two requests of one id would be one and the same to an endpoint.
 func TestOpenID(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := web(t, func(http.ResponseWriter, *http.Request) {
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -521,14 +527,14 @@
 		resp, _ := s.askOn(t, c, r)
 		first <- resp.StatusCode
 	}()
-	within(t, taken, "attempt")
+	peer.Within(t, taken, "attempt")
 	again := look(900)
 	again.Header.Set("X-Trace-Id", r.Header.Get("X-Trace-Id"))
 	if resp, _ := s.ask(t, again); resp.StatusCode != 409 {
 		t.Errorf("an open id: %s, want 409", resp.Status)
 	}
 	close(release)
-	if code := within(t, first, "answer"); code != 200 {
+	if code := peer.Within(t, first, "answer"); code != 200 {
 		t.Errorf("its owner: %d, want 200", code)
 	}
 	if resp, _ := s.ask(t, again); resp.StatusCode != 200 {
@@ -557,7 +563,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var failed, served atomic.Int32
-			half := web(t, func(w http.ResponseWriter, r *http.Request) {
+			half := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 				if tc.bad(r) {
 					failed.Add(1)
 					tc.handle(w, r)
@@ -565,8 +571,8 @@
 				}
 				served.Add(1)
 			})
-			whole := web(t, func(http.ResponseWriter, *http.Request) {})
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", half), up("s-2", whole)},
+			whole := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", half), board.Up("s-2", whole)},
 				`"tenants":[`, `"tenants":[{"name":"zeta","allowance-per-s":100.0,"share":1.0},`))
 			const rounds = 40
 			for range rounds {
@@ -593,10 +599,10 @@
 	var silent atomic.Bool
 	var lost atomic.Int32
 	endpoint := func(falls bool) string {
-		return raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 			old := falls && !silent.Load()
 			for {
-				if _, err := take(r); err != nil {
+				if _, err := peer.Take(r); err != nil {
 					return
 				}
 				if old && silent.Load() {
@@ -607,7 +613,7 @@
 			}
 		})
 	}
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", endpoint(true)), up("s-2", endpoint(false))}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint(true)), board.Up("s-2", endpoint(false))}))
 	for range 40 { // the sidecar learns how long requests take, over some connections at once
 		var several sync.WaitGroup
 		for range 8 {
@@ -630,13 +636,13 @@
 // Connection: close, what was taken before is finished, and the sidecar ends without error.
 func TestStop(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	idle, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -652,10 +658,10 @@
 			t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
 		}
 	})
-	within(t, taken, "attempt")
+	peer.Within(t, taken, "attempt")
 	begun := time.Now()
 	s.stop()
-	idle.SetReadDeadline(time.Now().Add(soon))
+	idle.SetReadDeadline(time.Now().Add(peer.Soon))
 	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("idle connection: %v, want it closed", err)
 	}
@@ -668,7 +674,7 @@
 		t.Errorf("ready: %s after the order to stop", resp.Status)
 	}
 	close(release)
-	if err := within(t, s.ended, "end"); err != nil {
+	if err := peer.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	if took := time.Since(begun); took < 500*time.Millisecond {
@@ -679,49 +685,28 @@
 // A dial can outlast the grace for a drain: then nothing may go out, and the request never ran.
 func TestDialOutlastsDrain(t *testing.T) {
 	var sent atomic.Int32
-	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	drained := up("s-1", addr)
+	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	drained := board.Up("s-1", addr)
 	drained.Lifecycle = "draining"
 	for _, tc := range []struct {
 		name string
-		news List
+		news discovery.List
 		wait bool // the grace goes by before the connection is up
 		want int
 	}{
-		{"within the grace", List{Instances: []Instance{drained}}, false, 200},
-		{"past the grace", List{Instances: []Instance{drained}}, true, 503},
-		{"left out of a whole list", List{Reset: true}, true, 503},
+		{"within the grace", discovery.List{Instances: []discovery.Instance{drained}}, false, 200},
+		{"past the grace", discovery.List{Instances: []discovery.Instance{drained}}, true, 503},
+		{"left out of a whole list", discovery.List{Reset: true}, true, 503},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sent.Store(0)
-			cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
-			clk := clock{time.Now()}
-			u := newUpstream(cfg, clk, quiet)
+			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
 			dialing, release := make(chan struct{}), make(chan struct{})
-			dial := u.dial
-			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
 				close(dialing)
 				<-release
-				return dial(ctx, network, addr)
-			}
-			l, err := newLoop(cfg, clk, u, func(bool) {}, quiet)
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer func() { cancel(); <-l.over }()
-			go l.run(ctx)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
-			server, err := newServer(cfg, l, quiet)
-			if err != nil {
-				t.Fatal(err)
-			}
-			go server.clients.accept(ln)
-			s := &running{addr: ln.Addr().String()}
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			})
 			answer := make(chan int, 1)
 			c, err := net.Dial("tcp", s.addr)
 			if err != nil {
@@ -732,15 +717,13 @@
 				resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 				answer <- resp.StatusCode
 			}()
-			within(t, dialing, "dial")
-			l.told(context.Background(), tc.news)
+			peer.Within(t, dialing, "dial")
+			s.parts.core.Members(context.Background(), tc.news.Kind(), tc.news.Members())
 			if tc.wait {
-				passed := make(chan struct{})
-				l.post(func(now int64) { l.at(now+cfg.Settings.Contract.DrainGrace, func(int64) { close(passed) }) })
-				within(t, passed, "end of the grace")
+				<-time.After(time.Duration(cfg.Site.Settings.Contract.DrainGrace) * time.Microsecond)
 			}
 			close(release)
-			if code := within(t, answer, "answer"); code != tc.want {
+			if code := peer.Within(t, answer, "answer"); code != tc.want {
 				t.Errorf("answered %d, want %d", code, tc.want)
 			}
 			if got := sent.Load(); (got > 0) != (tc.want == 200) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,3 +1,6 @@
+// Package sidecar assembles the platform's sidecar: one listener for one application, the core with its balancer,
+// the pool of connections to endpoints, and the watch at discovery. It starts them, moves them to a new
+// configuration, and stops them in order.
 package sidecar
 
 import (
@@ -8,79 +11,138 @@
 	"os"
 	"sync"
 	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/upstream"
 )
 
 const acceptFor = 550 * time.Millisecond // after the order to stop: clients still connect for 0.4 s
 
+// ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listener, the
+// runtime, calls of discovery, the file of the configuration.
+const ownSockets = 16
+
+const (
+	// restPart of the descriptors, at most, are clients' connections without an open request. The machine of the
+	// clients has limits of its own, and every connection that we keep at rest is one that they cannot open anew:
+	// with half of the descriptors for such, clients that asked once and stayed held all that the usual ones
+	// needed, and their requests never came (incident r412b9a).
+	restPart  = 6
+	idleMost  = 15 * time.Second // between requests, while no other connection rests
+	idleLeast = 100 * time.Millisecond
+)
+
+// clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
+// connections to endpoints: an open request has one of each, and probes and second attempts want more.
+func clientLimits(sockets int) conns.Limits {
+	return conns.Limits{Total: (sockets - ownSockets) / 2, AtRest: (sockets - ownSockets) / restPart,
+		IdleMost: clock.Micros(idleMost), IdleLeast: clock.Micros(idleLeast)}
+}
+
+// upstreamConns is how many connections to endpoints may be open.
+func upstreamConns(sockets int) int { return sockets - ownSockets - clientLimits(sockets).Total }
+
 // Run serves until stop ends, then finishes what it has taken and returns. At each signal of reload it reads
 // the configuration again.
-func Run(stop context.Context, c *Config, reload <-chan os.Signal, read func() (*Config, error), log *slog.Logger) error {
+func Run(stop context.Context, c *platform.Config, reload <-chan os.Signal, read func() (*platform.Config, error),
+	log *slog.Logger) error {
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(stop, c, ln, reload, read, log)
-}
-
-func serve(stop context.Context, c *Config, ln net.Listener, reload <-chan os.Signal, read func() (*Config, error),
-	log *slog.Logger) error {
-	clk := clock{time.Now()}
-	up := newUpstream(c, clk, log)
-	d := &discovery{}
-	l, err := newLoop(c, clk, up, d.set, log)
+	s, err := assemble(c, nil, log)
 	if err != nil {
 		ln.Close()
 		return err
 	}
-	d.w = newWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, l.told, log)
+	return s.serve(stop, ln, reload, read)
+}
+
+// sidecar is what assemble put together.
+type sidecar struct {
+	config *platform.Config
+	log    *slog.Logger
+	pool   *upstream.Pool
+	core   *core.Core
+	source *discovery.Source
+	front  *http1.Front
+}
 
-	// What runs beside the server ends after it, so that all that it has taken is answered first.
+// assemble puts a sidecar together without starting it. dial opens connections to endpoints; nil is the usual
+// way.
+func assemble(c *platform.Config, dial func(ctx context.Context, network, addr string) (net.Conn, error),
+	log *slog.Logger) (*sidecar, error) {
+	clk := clock.New()
+	s := &sidecar{config: c, log: log}
+	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(c.Sockets),
+		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive,
+		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
+	w := s.watcher(c.Discovery, c.Known.Generation)
+	if c.Site.Settings.Subscribe {
+		s.source = discovery.Once(w, func() { s.core.Members(context.Background(), balancer.ListFailed, nil) })
+	} else {
+		s.source = discovery.Keep(w)
+	}
+	var err error
+	s.core, err = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Known: c.Known.Members(),
+		Upstream: s.pool, Watch: s.source.Watch, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Send: s.pool.Send,
+		Limits: clientLimits(c.Sockets), Log: log})
+	return s, err
+}
+
+// watcher returns a watcher of a discovery that tells the core.
+func (s *sidecar) watcher(addr string, after int64) *discovery.Watcher {
+	return discovery.NewWatcher(addr, after, s.config.MemoryMB, func(ctx context.Context, l discovery.List) {
+		s.core.Members(ctx, l.Kind(), l.Members())
+	}, s.log)
+}
+
+func (s *sidecar) serve(stop context.Context, ln net.Listener, reload <-chan os.Signal,
+	read func() (*platform.Config, error)) error {
+	// What runs beside the front ends after it, so that all that it has taken is answered first.
 	ctx, cancel := context.WithCancel(context.Background())
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	if c.Settings.Subscribe {
-		d.watch, d.ended = (*watcher).once, l.untold
-	} else {
-		d.watch = (*watcher).keep
-		d.set(true)
+	beside.Go(func() { s.core.Run(ctx) })
+	beside.Go(func() { s.pool.Keep(ctx) })
+	beside.Go(func() { s.reloads(ctx, reload, read) })
+	defer s.source.Close()
+	if !s.config.Site.Settings.Subscribe {
+		s.source.Watch(true)
 	}
-	beside.Go(func() { l.run(ctx) })
-	beside.Go(func() { up.keep(ctx) })
-	beside.Go(func() {
-		reloads(ctx, c, reload, read, func(addr string) {
-			d.move(newWatcher(addr, unlisted, c.MemoryMB, l.told, log))
-		}, log)
-	})
-	defer d.set(false)
 
-	s, err := newServer(c, l, log)
-	if err != nil {
-		ln.Close()
-		return err
-	}
-	broken := make(chan error, 1)
-	go func() { broken <- s.clients.accept(ln) }()
-	log.Info("serving", "name", c.Name, "listen", ln.Addr().String())
+	accepted := make(chan error, 1)
+	go func() { accepted <- s.front.Accept(ln) }()
+	s.log.Info("serving", "name", s.config.Name, "listen", ln.Addr().String())
 	select {
-	case err := <-broken:
+	case err := <-accepted:
 		return fmt.Errorf("serve: %w", err)
 	case <-stop.Done():
 	}
-	s.drain(ln, broken, log)
+	s.drain(ln, accepted)
 	return nil
 }
 
 // drain goes on serving while clients may still connect, with each answer closing its connection, and then
 // finishes what was taken. Refusing the clients that come meanwhile would fail them for nothing.
-func (s *server) drain(ln net.Listener, accepted <-chan error, log *slog.Logger) {
-	log.Info("stopping")
-	s.closing.Store(true)
-	s.clients.hush()
+func (s *sidecar) drain(ln net.Listener, accepted <-chan error) {
+	s.log.Info("stopping")
+	s.front.Quiesce()
 	time.Sleep(acceptFor)
 	ln.Close()
 	<-accepted
 	// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
-	s.clients.hush()
-	s.clients.talks.Wait()
+	s.front.Quiesce()
+	s.front.Wait()
 }
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,28 @@
+// Package site holds what a site's operators have settled: the settings of the decisions, and the names that
+// stand for their numbers on the sockets. It knows neither files nor sockets: what reads a configuration fills
+// it, and all else takes it as it is.
+package site
+
+import (
+	"time"
+
+	"dunlinsail/balancer"
+)
+
+// BodyMost is the most bytes that a body may have on the sockets (PROTOCOL).
+const BodyMost = 64 << 10
+
+// Site is what one program is told of the site that it serves.
+type Site struct {
+	Settings balancer.Settings
+
+	// Names as on the sockets, in the order of the settings.
+	Classes []string
+	Tenants []string
+	Zones   []string
+	Kinds   []string
+	Fields  []string // of a load report
+
+	OnAnswers bool          // answers carry load reports, too
+	KeepAlive time.Duration // an endpoint closes a connection that has been idle for so long
+}
--- /dev/null
+++ b/internal/standin/board/board.go
@@ -0,0 +1,54 @@
+// Package board is a stand-in for discovery whose every line a test writes by hand.
+package board
+
+import (
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/standin/peer"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// Board is a discovery whose watches are written by hand.
+type Board struct {
+	Addr  string
+	After chan string // what each call asked for: its values of watch and after
+	Lines chan string // to write to the call that is open; an empty text ends it
+}
+
+// New starts a board.
+func New(t testing.TB) *Board {
+	b := &Board{After: make(chan string, 16), Lines: make(chan string)}
+	b.Addr = peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		b.After <- r.FormValue("watch") + " " + r.FormValue("after")
+		http.NewResponseController(w).Flush()
+		for {
+			select {
+			case line := <-b.Lines:
+				if line == "" {
+					return
+				}
+				io.WriteString(w, line+"\n")
+				http.NewResponseController(w).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	return b
+}
+
+// Line returns a list as a line of a watch.
+func Line(generation int64, reset bool, instances ...discovery.Instance) string {
+	text, err := json.Marshal(discovery.List{Generation: generation, Reset: reset, Instances: instances})
+	if err != nil {
+		panic(err) // of figures and texts only
+	}
+	return string(text)
+}
+
+// Up returns the entry of an endpoint that serves.
+func Up(id, addr string) discovery.Instance {
+	return discovery.Instance{ID: id, Addr: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
+}
--- /dev/null
+++ b/internal/standin/peer/peer.go
@@ -0,0 +1,83 @@
+// Package peer holds scripted peers for the project's tests: servers on loopback whose every byte a test writes
+// by hand, and bounded waits for what must come.
+package peer
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Soon bounds every wait for something that must come.
+const Soon = 5 * time.Second
+
+// Quiet is a log that nobody reads.
+var Quiet = slog.New(slog.DiscardHandler)
+
+// Nowhere returns an address that refuses connections.
+func Nowhere(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+// Web starts a server that speaks plain HTTP, and returns its address.
+func Web(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Raw starts a server whose connections are handled by hand, and closed when the handler returns.
+func Raw(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c.(*net.TCPConn), bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Take reads a whole request.
+func Take(r *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, err
+}
+
+// Within returns what comes on a channel, and fails the test if nothing does.
+func Within[T any](t testing.TB, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(Soon):
+		t.Fatalf("%s: nothing came", what)
+		panic("unreachable")
+	}
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,257 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/core"
+	"dunlinsail/internal/site"
+)
+
+const (
+	answerMost   = site.BodyMost + 64<<10 // with its head and framing
+	probeTimeout = 250 * time.Millisecond
+)
+
+// Message is a request as it goes on to an endpoint, but for the time that it has left.
+type Message struct {
+	Method, URI, Host string
+	Header            http.Header // end-to-end headers
+	Body              []byte
+}
+
+// Answer is an endpoint's 200 answer.
+type Answer struct {
+	Header http.Header
+	Body   []byte
+}
+
+// Send makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
+func (p *Pool) Send(ctx context.Context, to core.Target, m *Message, deadline balancer.Micros,
+	mayGo func(now balancer.Micros) bool) core.Reply {
+	c, err := p.Get(ctx, to.(*Target))
+	if err != nil {
+		return p.ended(p.NoConn(ctx, err))
+	}
+	now := p.o.Clock.Now()
+	left := (deadline - now) / 1000
+	if left < 1 || !mayGo(now) {
+		p.Put(c)
+		return p.ended(balancer.Moot)
+	}
+	return p.exchange(ctx, c, m.bytes(left))
+}
+
+// Probe asks an endpoint for its load, or for its health where there are no load reports.
+func (to *Target) Probe() core.Reply {
+	p := to.pool
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := p.Get(ctx, to)
+	if err != nil {
+		return p.ended(p.NoConn(ctx, err))
+	}
+	m := Message{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
+	if len(p.o.Fields) > 0 {
+		m.URI = "/-/load"
+	}
+	r := p.exchange(ctx, c, m.bytes(0))
+	if r.Status == balancer.OK && len(p.o.Fields) > 0 {
+		r.Load = parseLoad(p.o.Fields, string(r.Answer.(*Answer).Body))
+	}
+	return r
+}
+
+func (p *Pool) ended(status balancer.Status) core.Reply {
+	return core.Reply{Status: status, At: p.o.Clock.Now()}
+}
+
+// exchange writes a request and reads its answer. The connection is kept if both are whole.
+func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte) core.Reply {
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	c.limit.N = answerMost
+	n, err := c.Write(text)
+	if err != nil {
+		stop()
+		p.Discard(c)
+		if n < len(text) {
+			return p.ended(balancer.ConnectFailed) // its last byte was not written, so it never ran
+		}
+		return p.ended(balancer.Reset)
+	}
+	a, err := c.read()
+	r := p.ended(balancer.Reset)
+	if !stop() || err != nil || a.last || c.r.Buffered() > 0 {
+		p.Discard(c)
+	} else {
+		p.Put(c)
+	}
+	if err != nil {
+		return r
+	}
+	switch {
+	case a.code == http.StatusOK:
+		r.Status, r.Answer = balancer.OK, &a.Answer
+	case (a.code == http.StatusServiceUnavailable || a.code == http.StatusGatewayTimeout) &&
+		a.Header.Get("X-Never-Ran") == "1":
+		r.Status = balancer.Full
+	default:
+		r.Status = balancer.Error
+	}
+	if p.o.OnAnswers {
+		r.Load = parseLoad(p.o.Fields, a.Header.Get("Endpoint-Load-Metrics"))
+	}
+	return r
+}
+
+const (
+	interimMost = 8                      // answers 1xx ahead of the one that counts
+	stallMost   = 100 * time.Millisecond // an answer that has begun is whole within this
+)
+
+var (
+	errNotWhole = errors.New("nothing tells for sure where the answer ends")
+	errTooLarge = errors.New("the answer is too large")
+	errNoHTTP   = errors.New("the answer is no HTTP/1")
+)
+
+// got is a whole answer.
+type got struct {
+	Answer
+	code int
+	last bool // the endpoint closes the connection after it
+}
+
+// read reads a whole answer. One that ends early, whose end is told in two ways, or that only the end of the
+// connection ends, is an error: nothing but what the endpoint made for the request may pass for its answer.
+// http.ReadResponse would hide that it had both a length and chunks.
+func (c *Conn) read() (*got, error) {
+	for range interimMost {
+		c.SetReadDeadline(time.Time{})
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, err
+		}
+		c.SetReadDeadline(time.Now().Add(stallMost))
+		a, err := c.head()
+		if err != nil {
+			return nil, err
+		}
+		if a.code < 200 {
+			continue
+		}
+		a.Body, err = c.body(a)
+		c.SetReadDeadline(time.Time{})
+		return a, err
+	}
+	return nil, errTooLarge
+}
+
+// head reads a status line and headers.
+func (c *Conn) head() (*got, error) {
+	text := textproto.NewReader(c.r)
+	line, err := text.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	version, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	a := &got{}
+	if a.code, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.code < 100 ||
+		version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return nil, errNoHTTP
+	}
+	header, err := text.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	a.Header = http.Header(header)
+	a.last = version == "HTTP/1.0"
+	for _, v := range a.Header["Connection"] {
+		a.last = a.last || strings.Contains(strings.ToLower(v), "close")
+	}
+	return a, nil
+}
+
+// body reads what the head announces.
+func (c *Conn) body(a *got) ([]byte, error) {
+	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
+	switch {
+	case len(lengths) == 1 && len(encodings) == 0:
+		n, err := strconv.ParseUint(lengths[0], 10, 63)
+		if err != nil {
+			return nil, err
+		}
+		if n > site.BodyMost {
+			return nil, errTooLarge
+		}
+		body := make([]byte, n)
+		_, err = io.ReadFull(c.r, body)
+		return body, err
+	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), site.BodyMost+1))
+		if err == nil && len(body) > site.BodyMost {
+			err = errTooLarge
+		}
+		if err == nil {
+			_, err = textproto.NewReader(c.r).ReadMIMEHeader() // the trailer
+		}
+		return body, err
+	case len(lengths) == 0 && len(encodings) == 0 && (a.code == http.StatusNoContent || a.code == http.StatusNotModified):
+		return nil, nil
+	}
+	return nil, errNotWhole
+}
+
+// bytes writes the request in one piece, with the time that is left for it in milliseconds, if any.
+func (m *Message) bytes(leftMs int64) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(m.Body))
+	b.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
+	m.Header.Write(&b) // writing to memory does not fail
+	if leftMs > 0 {
+		b.WriteString("X-Expires-In-Ms: " + strconv.FormatInt(leftMs, 10) + "\r\n")
+	}
+	if len(m.Body) > 0 || m.Method != http.MethodGet {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(m.Body)
+	return b.Bytes()
+}
+
+// parseLoad reads a report, TEXT name=value, name=value, into the order of fields. A figure that is missing
+// or makes no sense is NaN, never zero; a report without any sound figure is none.
+func parseLoad(fields []string, text string) []float32 {
+	text = strings.TrimPrefix(strings.TrimSpace(text), "TEXT ")
+	load := make([]float32, len(fields))
+	for i := range load {
+		load[i] = float32(math.NaN())
+	}
+	any := false
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		for i, f := range fields {
+			if f == strings.TrimSpace(name) {
+				load[i], any = float32(v), true
+			}
+		}
+	}
+	if !any {
+		return nil
+	}
+	return load
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,287 @@
+// Package upstream keeps connections to endpoints and makes attempts and probes on them. It decides nothing of
+// where a request goes, and knows nothing of clients. pool.go holds the connections, for whatever protocol is
+// spoken on them; exchange.go speaks HTTP/1.1.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+)
+
+const sweepEvery = time.Second
+
+// Options say how a Pool behaves.
+type Options struct {
+	Clock       clock.Clock
+	Log         *slog.Logger
+	DialTimeout time.Duration // 0 is that of a probe
+	KeepAlive   time.Duration // an endpoint closes a connection that has been idle for so long
+	Most        int           // connections open or being opened
+	Fields      []string      // of a load report
+	OnAnswers   bool          // answers carry load reports, too
+
+	// Dial opens a connection; nil is that of package net.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Pool is a small pool of connections. It is not an http.Transport since that sends some requests again by
+// itself when a kept connection breaks, and does not tell whether the last byte was written. Here an attempt is
+// written at most once, in one piece.
+type Pool struct {
+	o        Options
+	idleMost time.Duration
+
+	mu     sync.Mutex
+	conns  int                  // open or being opened
+	idle   map[*Target]struct{} // those with idle connections
+	noRoom time.Time            // when a shortage of connections was last logged
+	closed bool                 // nothing idle is kept any more
+}
+
+// New returns an empty pool. Run its Keep.
+func New(o Options) *Pool {
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = probeTimeout
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+	// Well before the endpoint's own limit: a request that crosses its close is lost.
+	return &Pool{o: o, idleMost: o.KeepAlive * 2 / 3, idle: map[*Target]struct{}{}}
+}
+
+// Target is where one endpoint listens. Its connections are its own: a new endpoint may listen where one has
+// gone, and what was meant for the one must not reach the other.
+type Target struct {
+	pool *Pool
+	addr string
+
+	// Guarded by Pool.mu.
+	idle []*Conn
+	gone bool // nothing new goes there
+}
+
+// Target returns a new target for an address.
+func (p *Pool) Target(addr string) core.Target { return &Target{pool: p, addr: addr} }
+
+// Conn is a connection to an endpoint.
+type Conn struct {
+	net.Conn
+	limit io.LimitedReader // what may still be read
+	r     *bufio.Reader
+	to    *Target
+	idle  time.Time // since when
+}
+
+func newConn(nc net.Conn, to *Target) *Conn {
+	c := &Conn{Conn: nc, to: to}
+	c.limit.R = nc
+	c.r = bufio.NewReaderSize(&c.limit, 4096)
+	return c
+}
+
+var (
+	errNoRoom = errors.New("all connections are in use")
+	errGone   = errors.New("the endpoint is gone")
+)
+
+// NoConn says what it means that there is no connection for an attempt, which never ran. What is our own doing
+// says nothing of the endpoint: blamed for it, a sound one would be ejected.
+func (p *Pool) NoConn(ctx context.Context, err error) balancer.Status {
+	shortage := errors.Is(err, errNoRoom) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+	if shortage {
+		p.mu.Lock()
+		due := time.Since(p.noRoom) > time.Second
+		if due {
+			p.noRoom = time.Now()
+		}
+		p.mu.Unlock()
+		if due {
+			p.o.Log.Warn("no connection for an attempt", "error", err)
+		}
+	}
+	if shortage || errors.Is(err, errGone) || errors.Is(ctx.Err(), context.Canceled) {
+		return balancer.Moot
+	}
+	return balancer.ConnectFailed
+}
+
+// Get returns the idle connection used last, since the others may then grow old, or a new one.
+func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
+	p.mu.Lock()
+	for !to.gone && len(to.idle) > 0 {
+		c := p.popLocked(to, len(to.idle)-1)
+		if p.usable(c) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.closeLocked(c)
+	}
+	err := error(nil)
+	switch {
+	case to.gone:
+		err = errGone
+	case p.conns >= p.o.Most && !p.evictLocked(): // descriptors must not run out: one idle elsewhere makes room
+		err = errNoRoom
+	default:
+		p.conns++
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	nc, err := p.o.Dial(ctx, "tcp", to.addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.conns--
+		return nil, err
+	}
+	c := newConn(nc, to)
+	if to.gone {
+		p.closeLocked(c) // another may listen there by now
+		return nil, errGone
+	}
+	return c, nil
+}
+
+func (p *Pool) usable(c *Conn) bool { return time.Since(c.idle) < p.idleMost && c.alive() }
+
+// Put gives back a connection on which nothing is out any more.
+func (p *Pool) Put(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.to.gone || p.closed {
+		p.closeLocked(c)
+		return
+	}
+	c.idle = time.Now()
+	c.to.idle = append(c.to.idle, c)
+	p.idle[c.to] = struct{}{}
+}
+
+// Discard closes a connection that Get returned.
+func (p *Pool) Discard(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c)
+}
+
+func (p *Pool) closeLocked(c *Conn) {
+	c.Conn.Close()
+	p.conns--
+}
+
+// popLocked takes an idle connection out.
+func (p *Pool) popLocked(to *Target, i int) *Conn {
+	c := to.idle[i]
+	if to.idle = slices.Delete(to.idle, i, i+1); len(to.idle) == 0 {
+		delete(p.idle, to)
+	}
+	return c
+}
+
+// evictLocked closes the connection that has been idle for longest.
+func (p *Pool) evictLocked() bool {
+	var oldest *Target
+	for to := range p.idle {
+		if oldest == nil || to.idle[0].idle.Before(oldest.idle[0].idle) {
+			oldest = to
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.closeLocked(p.popLocked(oldest, 0))
+	return true
+}
+
+// Drop ends the use of a target. What is out there goes on.
+func (to *Target) Drop() {
+	p := to.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to.gone = true
+	for len(to.idle) > 0 {
+		p.closeLocked(p.popLocked(to, 0))
+	}
+}
+
+// Silent closes the idle connections to an endpoint that were last used before an instant: one that has been
+// silent since then may not be the only one.
+func (to *Target) Silent(since time.Time) {
+	p := to.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(to.idle) - 1; i >= 0; i-- {
+		if to.idle[i].idle.Before(since) {
+			p.closeLocked(p.popLocked(to, i))
+		}
+	}
+}
+
+// sweep closes connections that have been idle for too long or that the endpoint has closed.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to := range p.idle {
+		for i := len(to.idle) - 1; i >= 0; i-- {
+			if !p.usable(to.idle[i]) {
+				p.closeLocked(p.popLocked(to, i))
+			}
+		}
+	}
+}
+
+// Keep sweeps until ctx ends, and then closes what is idle.
+func (p *Pool) Keep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.sweep()
+		case <-ctx.Done():
+			p.mu.Lock()
+			p.closed = true
+			for p.evictLocked() {
+			}
+			p.mu.Unlock()
+			return
+		}
+	}
+}
+
+// alive looks, without waiting, whether the endpoint has closed an idle connection or sent something on it
+// unasked. A request written to such a connection would be lost and might have run.
+func (c *Conn) alive() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package upstream
 
 import (
 	"bufio"
@@ -14,7 +14,11 @@
 	"testing"
 	"time"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+	"dunlinsail/internal/site"
+	"dunlinsail/internal/standin/peer"
 )
 
 // A figure that is missing or makes no sense must not read as an idle endpoint.
@@ -35,26 +39,32 @@
 	}
 }
 
-func at(addr string) *target { return &target{addr: addr} }
-
-func newTestUpstream(t *testing.T, edits ...string) *upstream {
-	return newUpstream(configure(t, "127.0.0.1:1", nil, edits...), clock{time.Now()}, quiet)
+// newPool returns a pool with edits to its usual options.
+func newPool(edits ...func(*Options)) *Pool {
+	o := Options{Clock: clock.New(), Log: peer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, Most: 504,
+		Fields: []string{"busy_reqs", "served_ps", "cpu_share"}}
+	for _, edit := range edits {
+		edit(&o)
+	}
+	return New(o)
 }
 
+func (p *Pool) at(addr string) *Target { return p.Target(addr).(*Target) }
+
 // try makes one attempt with a second of time.
-func (u *upstream) try(m *message, to *target) reply {
-	ctx, cancel := context.WithTimeout(context.Background(), soon)
+func (u *Pool) try(m *Message, to core.Target) core.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
 	defer cancel()
-	return u.send(ctx, to, m, u.clock.now()+1_000_000, func(balancer.Micros) bool { return true })
+	return u.Send(ctx, to, m, u.o.Clock.Now()+1_000_000, func(balancer.Micros) bool { return true })
 }
 
-func keyed(body string) *message {
-	return &message{method: "POST", uri: "/book", host: "origin.svc", body: []byte(body),
-		header: http.Header{"X-Trace-Id": {"1"}, "Idempotency-Key": {"k"}}}
+func keyed(body string) *Message {
+	return &Message{Method: "POST", URI: "/book", Host: "origin.svc", Body: []byte(body),
+		Header: http.Header{"X-Trace-Id": {"1"}, "Idempotency-Key": {"k"}}}
 }
 
-func plainGet() *message {
-	return &message{method: "GET", uri: "/look", host: "origin.svc", header: http.Header{"X-Trace-Id": {"1"}}}
+func plainGet() *Message {
+	return &Message{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{"X-Trace-Id": {"1"}}}
 }
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -62,12 +72,13 @@
 // Each Send is at most one attempt on the wire, also for requests that an http.Transport would send again:
 // those of a kept connection that breaks after the request was read.
 func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
-	for name, m := range map[string]*message{"get": plainGet(), "keyed": keyed("x")} {
+	for name, m := range map[string]*Message{"get": plainGet(), "keyed": keyed("x")} {
 		t.Run(name, func(t *testing.T) {
 			var taken atomic.Int32
-			to := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			u := newPool()
+			to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				for i := 0; i < 2; i++ {
-					if _, err := take(r); err != nil {
+					if _, err := peer.Take(r); err != nil {
 						return
 					}
 					if taken.Add(1); i == 0 {
@@ -75,12 +86,11 @@
 					}
 				}
 			}))
-			u := newTestUpstream(t)
-			if r := u.try(m, to); r.status != balancer.OK {
-				t.Fatalf("first: status %v", r.status)
+			if r := u.try(m, to); r.Status != balancer.OK {
+				t.Fatalf("first: status %v", r.Status)
 			}
-			if r := u.try(m, to); r.status != balancer.Reset {
-				t.Errorf("second: status %v, want Reset", r.status)
+			if r := u.try(m, to); r.Status != balancer.Reset {
+				t.Errorf("second: status %v, want Reset", r.Status)
 			}
 			if n := taken.Load(); n != 2 {
 				t.Errorf("the endpoint took %d requests, want 2", n)
@@ -106,8 +116,8 @@
 
 // Whether a request may have run turns on its last byte.
 func TestLastByteDecides(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		peer.Take(r)
 		c.SetLinger(0) // breaks with a reset
 	})
 	m := keyed(strings.Repeat("x", 1000))
@@ -123,20 +133,20 @@
 		{"all, then an error", 0, true, balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			u := newTestUpstream(t)
-			dial := u.dial
-			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			u := newPool()
+			dial := u.o.Dial
+			u.o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				c, err := dial(ctx, network, addr)
 				return short{c, tc.lack, tc.after}, err
 			}
-			if r := u.try(m, at(addr)); r.status != tc.want {
-				t.Errorf("status %v, want %v", r.status, tc.want)
+			if r := u.try(m, u.at(addr)); r.Status != tc.want {
+				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
 		})
 	}
-	u := newTestUpstream(t)
-	if r := u.try(m, at(nowhere(t))); r.status != balancer.ConnectFailed {
-		t.Errorf("refused connection: status %v, want ConnectFailed", r.status)
+	u := newPool()
+	if r := u.try(m, u.at(peer.Nowhere(t))); r.Status != balancer.ConnectFailed {
+		t.Errorf("refused connection: status %v, want ConnectFailed", r.Status)
 	}
 }
 
@@ -171,21 +181,22 @@
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
 		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*interimMost), balancer.Reset},
 		{"unreadable report", strings.Replace(okAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
-		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", bodyMost+1,
-			strings.Repeat("x", bodyMost+1)), balancer.Reset},
+		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", site.BodyMost+1,
+			strings.Repeat("x", site.BodyMost+1)), balancer.Reset},
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				take(r)
+			addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				peer.Take(r)
 				io.WriteString(c, tc.answer)
 			})
-			r := newTestUpstream(t).try(keyed("x"), at(addr))
-			if r.status != tc.want {
-				t.Errorf("status %v, want %v", r.status, tc.want)
+			u := newPool()
+			r := u.try(keyed("x"), u.at(addr))
+			if r.Status != tc.want {
+				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
-			if r.status == balancer.OK && string(r.body) != "ok" {
-				t.Errorf("body %q", r.body)
+			if r.Status == balancer.OK && string(r.Answer.(*Answer).Body) != "ok" {
+				t.Errorf("body %q", r.Answer.(*Answer).Body)
 			}
 		})
 	}
@@ -200,14 +211,14 @@
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
-		addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-			take(r)
+		addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			peer.Take(r)
 			io.WriteString(c, answer)
 			r.ReadByte()
 		})
-		u, begun := newTestUpstream(t), time.Now()
-		if r := u.try(keyed("x"), at(addr)); r.status != balancer.Reset || time.Since(begun) > 5*stallMost {
-			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.status, time.Since(begun))
+		u, begun := newPool(), time.Now()
+		if r := u.try(keyed("x"), u.at(addr)); r.Status != balancer.Reset || time.Since(begun) > 5*stallMost {
+			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.Status, time.Since(begun))
 		}
 		if u.conns != 0 {
 			t.Errorf("%q: its connection is kept", answer)
@@ -217,22 +228,23 @@
 
 // An answer may come long after a 1xx.
 func TestSlowAfterInterim(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		peer.Take(r)
 		io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n")
 		time.Sleep(2 * stallMost) // the work, not a wait for another
 		io.WriteString(c, okAnswer)
 	})
-	if r := newTestUpstream(t).try(keyed("x"), at(addr)); r.status != balancer.OK {
-		t.Errorf("status %v, want OK", r.status)
+	u := newPool()
+	if r := u.try(keyed("x"), u.at(addr)); r.Status != balancer.OK {
+		t.Errorf("status %v, want OK", r.Status)
 	}
 }
 
 // A good answer with more behind it is good, and what is behind it answers nothing.
 func TestMoreBehindAnswer(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := take(r)
+			req, err := peer.Take(r)
 			if err != nil {
 				return
 			}
@@ -241,12 +253,13 @@
 			io.WriteString(c, one+one)
 		}
 	})
-	u, to := newTestUpstream(t), at(addr)
+	u := newPool()
+	to := u.at(addr)
 	for i := range 4 {
 		m := plainGet()
-		m.header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.try(m, to); r.status != balancer.OK || string(r.body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.status, r.body)
+		m.Header.Set("X-Trace-Id", fmt.Sprint(i))
+		if r := u.try(m, to); r.Status != balancer.OK || string(r.Answer.(*Answer).Body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Answer.(*Answer).Body)
 		}
 	}
 }
@@ -255,69 +268,70 @@
 // that is gone is kept.
 func TestGoneEndpointsConnections(t *testing.T) {
 	var dials atomic.Int32
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := take(r); err != nil {
+			if _, err := peer.Take(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
 		}
 	})
-	u, old, next := newTestUpstream(t), at(addr), at(addr)
+	u := newPool()
+	old, next := u.at(addr), u.at(addr)
 	ctx := context.Background()
 	u.try(plainGet(), old)
 	if u.try(plainGet(), next); dials.Load() != 2 {
 		t.Errorf("%d connections to two endpoints at one address, want 2", dials.Load())
 	}
-	out, err := u.get(ctx, old)
+	out, err := u.Get(ctx, old)
 	if err != nil {
 		t.Fatal(err)
 	}
-	u.drop(old)
-	u.put(out)
+	old.Drop()
+	u.Put(out)
 	if u.conns != 1 || len(old.idle) != 0 {
 		t.Errorf("%d connections open, %d idle to what is gone, want 1 and 0", u.conns, len(old.idle))
 	}
-	if r := u.try(plainGet(), old); r.status != balancer.Moot {
-		t.Errorf("status %v for what is gone, want Moot", r.status)
+	if r := u.try(plainGet(), old); r.Status != balancer.Moot {
+		t.Errorf("status %v for what is gone, want Moot", r.Status)
 	}
-	late := at(addr)
-	dial := u.dial
-	u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		u.drop(late)
+	late := u.at(addr)
+	dial := u.o.Dial
+	u.o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		late.Drop()
 		return dial(ctx, network, addr)
 	}
-	if r := u.try(plainGet(), late); r.status != balancer.Moot || u.conns != 1 {
-		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.status, u.conns)
+	if r := u.try(plainGet(), late); r.Status != balancer.Moot || u.conns != 1 {
+		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.Status, u.conns)
 	}
 }
 
 // Our own shortage is no fault of the endpoint's.
 func TestShortageIsNoFault(t *testing.T) {
-	to := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
-	u := newTestUpstream(t)
-	u.connsMost = 0
-	if r := u.try(plainGet(), to); r.status != balancer.Moot {
-		t.Errorf("all connections in use: status %v, want Moot", r.status)
+	u := newPool()
+	to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
+	u.o.Most = 0
+	if r := u.try(plainGet(), to); r.Status != balancer.Moot {
+		t.Errorf("all connections in use: status %v, want Moot", r.Status)
 	}
-	u.connsMost = 1
+	u.o.Most = 1
 	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
-		u.dial = func(context.Context, string, string) (net.Conn, error) {
+		u.o.Dial = func(context.Context, string, string) (net.Conn, error) {
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", e)}
 		}
-		if r := u.try(plainGet(), to); r.status != balancer.Moot {
-			t.Errorf("%v: status %v, want Moot", e, r.status)
+		if r := u.try(plainGet(), to); r.Status != balancer.Moot {
+			t.Errorf("%v: status %v, want Moot", e, r.Status)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	u.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+	u.o.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.send(ctx, to, plainGet(), u.clock.now()+1_000_000, func(balancer.Micros) bool { return true })
-	if r.status != balancer.Moot {
-		t.Errorf("a dial that we ended: status %v, want Moot", r.status)
+	r := u.Send(ctx, to, plainGet(), u.o.Clock.Now()+1_000_000, func(balancer.Micros) bool { return true })
+	if r.Status != balancer.Moot {
+		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
 	}
 }
 
@@ -325,34 +339,36 @@
 // whether it ran would not be known.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		peer.Take(r)
 		io.WriteString(c, okAnswer)
 		c.Close()
 		closed <- struct{}{}
 	})
-	u, to := newTestUpstream(t), at(addr)
+	u := newPool()
+	to := u.at(addr)
 	for i := range 3 {
-		if r := u.try(plainGet(), to); r.status != balancer.OK {
-			t.Fatalf("request %d: status %v", i, r.status)
+		if r := u.try(plainGet(), to); r.Status != balancer.OK {
+			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		within(t, closed, "close")
+		peer.Within(t, closed, "close")
 	}
 }
 
 // An idle connection is retired well before the endpoint would close it, and the sweep closes it.
 func TestIdleConnectionIsRetired(t *testing.T) {
 	var dials atomic.Int32
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := take(r); err != nil {
+			if _, err := peer.Take(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
 		}
 	})
-	u, to := newTestUpstream(t), at(addr)
+	u := newPool()
+	to := u.at(addr)
 	if most := 12 * time.Second; u.idleMost > most {
 		t.Errorf("kept idle for %v where the endpoint closes after 15 s", u.idleMost)
 	}
@@ -379,51 +395,52 @@
 
 // The connection used last is used next, so that those not needed grow old and are closed.
 func TestLatestConnectionFirst(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) })
-	u, to := newTestUpstream(t), at(addr)
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
+	u := newPool()
+	to := u.at(addr)
 	ctx := context.Background()
-	first, err := u.get(ctx, to)
+	first, err := u.Get(ctx, to)
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, err := u.get(ctx, to)
+	second, err := u.Get(ctx, to)
 	if err != nil {
 		t.Fatal(err)
 	}
-	u.put(first)
-	u.put(second)
-	if got, err := u.get(ctx, to); err != nil || got != second {
+	u.Put(first)
+	u.Put(second)
+	if got, err := u.Get(ctx, to); err != nil || got != second {
 		t.Errorf("the connection used last was not taken (error %v)", err)
 	}
 }
 
 // Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
 func TestConnectionsAreBounded(t *testing.T) {
-	one := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
-	two := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
-	u := newTestUpstream(t)
-	u.connsMost = 2
+	u := newPool()
+	one := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
+	two := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
+	u.o.Most = 2
 	ctx := context.Background()
-	a, err := u.get(ctx, one)
+	a, err := u.Get(ctx, one)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := u.get(ctx, one); err != nil {
+	if _, err := u.Get(ctx, one); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := u.get(ctx, two); err != errNoRoom {
+	if _, err := u.Get(ctx, two); err != errNoRoom {
 		t.Fatalf("third connection: error %v, want %v", err, errNoRoom)
 	}
-	u.put(a)
-	if _, err := u.get(ctx, two); err != nil {
+	u.Put(a)
+	if _, err := u.Get(ctx, two); err != nil {
 		t.Errorf("third connection with one idle: %v", err)
 	}
 	if u.conns != 2 {
 		t.Errorf("%d connections counted, want 2", u.conns)
 	}
 	// One that is refused gives its place back.
-	u.connsMost = 3
-	u.get(ctx, at(nowhere(t)))
+	u.o.Most = 3
+	u.Get(ctx, u.at(peer.Nowhere(t)))
 	if u.conns != 2 {
 		t.Errorf("%d connections counted after one refused, want 2", u.conns)
 	}
@@ -431,7 +448,7 @@
 
 // A probe asks for the load where there are reports, for the health elsewhere, and waits only so long.
 func TestProbe(t *testing.T) {
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/-/load":
 			io.WriteString(w, "TEXT cpu_share=0.61, busy_reqs=7, served_ps=2")
@@ -440,24 +457,24 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 	})
-	r := newTestUpstream(t).probe(at(addr))
-	if got := fmt.Sprint(r.status, r.load); got != "0 [7 2 0.61]" {
+	r := newPool().at(addr).Probe()
+	if got := fmt.Sprint(r.Status, r.Load); got != "0 [7 2 0.61]" {
 		t.Errorf("probe: status and load %s, want 0 [7 2 0.61]", got)
 	}
-	r = newTestUpstream(t, `"how":"probe"`, `"how":"none"`).probe(at(addr))
-	if r.status != balancer.OK || r.load != nil {
-		t.Errorf("probe without reports: status %v, load %v", r.status, r.load)
+	r = newPool(func(o *Options) { o.Fields = nil }).at(addr).Probe()
+	if r.Status != balancer.OK || r.Load != nil {
+		t.Errorf("probe without reports: status %v, load %v", r.Status, r.Load)
 	}
 	ended := make(chan error, 1)
-	mute := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	mute := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		peer.Take(r)
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	if r := newTestUpstream(t).probe(at(mute)); r.status == balancer.OK {
+	if r := newPool().at(mute).Probe(); r.Status == balancer.OK {
 		t.Error("a probe that nobody answered is ok")
 	}
-	if err := within(t, ended, "end of a mute probe"); err == nil {
+	if err := peer.Within(t, ended, "end of a mute probe"); err == nil {
 		t.Error("more was written to a mute probe")
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
 )
 
 // settingsText holds the pairs of a config text and the first error met.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
 )
 
 // Code numbers an event or an action; the two have separate code spaces.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"cottonpond/balancer"
+	"dunlinsail/balancer"
 )
 
 func unhex(t testing.TB, parts ...string) []byte {
