--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,573 @@
+// Package config reads the daemon's file: TOML, strictly. What is not known, makes no sense or does not fit the
+// rest is an error that names key, line and reason; all of them are told at once. It knows the file only: what is
+// done with a configuration, package daemon decides.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/site"
+)
+
+// Config is what a daemon is told by its file.
+type Config struct {
+	Name string `toml:"name"`
+
+	Process   Process   `toml:"process"`
+	Discovery Discovery `toml:"discovery"`
+	Takeover  Takeover  `toml:"takeover"`
+
+	Connections Connections `toml:"connections"`
+	Requests    Requests    `toml:"requests"`
+	Listeners   []Listener  `toml:"listener"`
+	Clients     []Client    `toml:"client"`
+	Others      *Bounds     `toml:"others"`
+
+	Fleet    Fleet    `toml:"fleet"`
+	Classes  []Class  `toml:"class"`
+	Tenants  []Tenant `toml:"tenant"`
+	Attempts Attempts `toml:"attempts"`
+	Refusals Refusals `toml:"refusals"`
+	Probes   Probes   `toml:"probes"`
+	Rules    Rules    `toml:"rules"`
+	Prices   Prices   `toml:"prices"`
+	Goal     Goal     `toml:"goal"`
+
+	// Site is what the decisions are told, made of the tables from fleet on.
+	Site site.Site `toml:"-"`
+}
+
+// Process bounds what the daemon takes of its host.
+type Process struct {
+	Cores       int  `toml:"cores"` // 0 is all there are
+	Memory      Size `toml:"memory"`
+	Descriptors int  `toml:"descriptors"`
+}
+
+// Discovery is where the list of endpoints comes from.
+type Discovery struct {
+	Address string `toml:"address"`
+	Mode    string `toml:"mode"` // "watch" or "ask"
+}
+
+// Takeover says how a new process takes over from the one that serves.
+type Takeover struct {
+	Socket      string   `toml:"socket"` // empty: a restart is a cold start
+	ReadyWithin Duration `toml:"ready_within"`
+	DrainWithin Duration `toml:"drain_within"`
+}
+
+// Connections bounds the connections to clients and endpoints.
+type Connections struct {
+	Clients   int      `toml:"clients"`
+	AtRest    int      `toml:"at_rest"`
+	RestMost  Duration `toml:"rest_most"`
+	RestLeast Duration `toml:"rest_least"`
+	Endpoints int      `toml:"endpoints"`
+}
+
+// Requests bounds what the instance takes on.
+type Requests struct {
+	Open          int `toml:"open"`
+	InFlight      int `toml:"in_flight"` // 0 is learned
+	InFlightLeast int `toml:"in_flight_least"`
+	InFlightMost  int `toml:"in_flight_most"`
+}
+
+// Listener is where clients connect.
+type Listener struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"` // host:port on loopback, or unix:/path
+	Client  string `toml:"client"`  // whose connections these are; on a unix socket, only where no uid or gid tells
+	Mode    Mode   `toml:"mode"`    // of a unix socket
+}
+
+// Network returns the listener's network and address as package net takes them.
+func (l *Listener) Network() (network, address string) {
+	if path, ok := strings.CutPrefix(l.Address, "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", l.Address
+}
+
+// Bounds are what one client may do. 0 is no bound.
+type Bounds struct {
+	Weight      float64 `toml:"weight"`
+	Connections int     `toml:"connections"`
+	Open        int     `toml:"open_requests"`
+	Bytes       Size    `toml:"bytes_held"`
+	Rate        float64 `toml:"requests_per_second"`
+	Burst       float64 `toml:"burst"` // requests at once; 0 is a tenth of a second's
+}
+
+// Share returns the bounds as the decisions between clients take them.
+func (b *Bounds) Share(name string) shares.Spec {
+	s := shares.Spec{Name: name, Weight: b.Weight, Open: b.Open, Rate: b.Rate, Burst: b.Burst}
+	if s.Rate > 0 && s.Burst == 0 {
+		s.Burst = max(1, s.Rate/10)
+	}
+	return s
+}
+
+// Client is a client by name.
+type Client struct {
+	Name string `toml:"name"`
+	Bounds
+	UIDs       []uint32 `toml:"uids"`
+	GIDs       []uint32 `toml:"gids"`
+	PerProcess bool     `toml:"per_process"` // each process on a unix socket is a client of its own, with these bounds
+}
+
+// Fleet says what this instance is among others.
+type Fleet struct {
+	Instances      int      `toml:"instances"`
+	Position       int      `toml:"position"`
+	Zone           string   `toml:"zone"`
+	Zones          []string `toml:"zones"`
+	Machines       []string `toml:"machines"`
+	KeepAlive      Duration `toml:"keep_alive"`
+	OverShareWorth float64  `toml:"over_share_worth"`
+	WorthBy        string   `toml:"worth_by"` // "request" or "work"
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name      string   `toml:"name"`
+	Repeat    string   `toml:"repeat"` // "safe", "keyed" or "unsafe"
+	Group     string   `toml:"group"`  // keyed only: "all", "zone" or "cell"
+	Window    Duration `toml:"window"` // keyed only
+	Aim       Duration `toml:"aim"`
+	GiveUp    Duration `toml:"give_up"`
+	Worth     *float64 `toml:"worth"`
+	LateWorth float64  `toml:"late_worth"`
+}
+
+// Tenant is one of those who share the service.
+type Tenant struct {
+	Name      string  `toml:"name"`
+	Allowance float64 `toml:"allowance"` // requests a second over all instances
+	Share     float64 `toml:"share"`
+}
+
+// Attempts says what may be tried for a request.
+type Attempts struct {
+	Most         int      `toml:"most"`
+	Cancel       bool     `toml:"cancel"`
+	SecondCopies bool     `toml:"second_copies"`
+	DialTimeout  Duration `toml:"dial_timeout"`
+}
+
+// Refusals says what a client is told that is to try again.
+type Refusals struct {
+	RetryAfter     bool     `toml:"retry_after"`
+	RetryAfterMost Duration `toml:"retry_after_most"`
+}
+
+// Probes says what endpoints tell of their load.
+type Probes struct {
+	On     bool     `toml:"on"`
+	Report string   `toml:"report"` // "none", "probe" or "answers"
+	Fields []string `toml:"fields"`
+}
+
+// Rules are the figures of the rules that must hold (PROTOCOL).
+type Rules struct {
+	DrainGrace   Duration `toml:"drain_grace"`
+	ColdFrom     float64  `toml:"cold_from"`
+	WarmAfter    Duration `toml:"warm_after"`
+	FallMultiple float64  `toml:"fall_multiple"`
+	FallAfter    Duration `toml:"fall_after"`
+	AskWithin    Duration `toml:"ask_within"`
+}
+
+// Prices is what is taken off the service for its cost.
+type Prices struct {
+	CrossZone float64 `toml:"cross_zone"`
+	Probe     float64 `toml:"probe"`
+	Waste     float64 `toml:"waste"`
+	LateFail  float64 `toml:"late_fail"`
+}
+
+// Goal weighs what the users judge.
+type Goal struct {
+	Whole       float64 `toml:"whole"`
+	WorstWindow float64 `toml:"worst_window"`
+	WorstClass  float64 `toml:"worst_class"`
+	WorstTenant float64 `toml:"worst_tenant"`
+}
+
+// defaults are what a file that says nothing means. deploy/dunlinsaild.toml states them.
+func defaults() Config {
+	return Config{
+		Name:        "dunlinsaild",
+		Process:     Process{Memory: Size{256 << 20}, Descriptors: 4096},
+		Discovery:   Discovery{Mode: "watch"},
+		Takeover:    Takeover{ReadyWithin: Duration{10 * time.Second}, DrainWithin: Duration{5 * time.Second}},
+		Connections: Connections{RestMost: Duration{15 * time.Second}, RestLeast: Duration{100 * time.Millisecond}},
+		Requests:    Requests{Open: 2000, InFlightLeast: 4, InFlightMost: 1000},
+		Fleet:       Fleet{Instances: 1, KeepAlive: Duration{15 * time.Second}, OverShareWorth: 1, WorthBy: "request"},
+		Attempts:    Attempts{Most: 3, Cancel: true, SecondCopies: true, DialTimeout: Duration{250 * time.Millisecond}},
+		Refusals:    Refusals{RetryAfter: true, RetryAfterMost: Duration{time.Second}},
+		Probes:      Probes{Report: "none"},
+		Rules: Rules{DrainGrace: Duration{250 * time.Millisecond}, ColdFrom: 0.2, WarmAfter: Duration{20 * time.Second},
+			FallMultiple: 2.5, FallAfter: Duration{2 * time.Second}, AskWithin: Duration{10 * time.Second}},
+		Goal: Goal{Whole: 1},
+	}
+}
+
+// Error is one thing that is wrong with a file.
+type Error struct {
+	Key    string // dotted, with places in lists from 0; empty where the text is no TOML
+	Line   int    // from 1; 0 where the file does not name the key
+	Reason string
+}
+
+func (e *Error) Error() string {
+	var at []string
+	if e.Line > 0 {
+		at = append(at, fmt.Sprintf("line %d", e.Line))
+	}
+	if e.Key != "" {
+		at = append(at, e.Key)
+	}
+	return strings.Join(append(at, e.Reason), ": ")
+}
+
+// Errors are all that is wrong with a file, in the order of its lines.
+type Errors []*Error
+
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i := range e {
+		lines[i] = e[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Read reads and checks a file. An error of what it holds is Errors.
+func Read(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text)
+}
+
+// Parse checks a file's text. Its error is Errors.
+func Parse(text []byte) (*Config, error) {
+	c := defaults()
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return nil, decodeErrors(text, err)
+	}
+	k := &check{lines: keyLines(text)}
+	k.config(&c)
+	if len(k.errs) > 0 {
+		slices.SortStableFunc(k.errs, func(a, b *Error) int { return a.Line - b.Line })
+		return nil, k.errs
+	}
+	return &c, nil
+}
+
+// decodeErrors turns what the TOML library says into Errors.
+func decodeErrors(text []byte, err error) Errors {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) {
+		var all Errors
+		for i := range missing.Errors {
+			e := &missing.Errors[i]
+			line, _ := e.Position()
+			all = append(all, &Error{strings.Join(e.Key(), "."), line, "is not a known key"})
+		}
+		return all
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		return Errors{{strings.Join(bad.Key(), "."), line, strings.TrimPrefix(bad.Error(), "toml: ")}}
+	}
+	// Where a number stands in place of a value with a unit, the library does not say where.
+	if unit := (*badUnit)(nil); errors.As(err, &unit) {
+		_, numbers := keys(text)
+		for _, n := range numbers {
+			if n.text == unit.text {
+				return Errors{{n.key, n.line, err.Error()}}
+			}
+		}
+	}
+	return Errors{{"", 0, err.Error()}}
+}
+
+// check gathers what is wrong.
+type check struct {
+	lines map[string]int
+	errs  Errors
+}
+
+// that notes an error of a key unless it is so.
+func (k *check) that(ok bool, key, reason string, args ...any) {
+	if ok {
+		return
+	}
+	line := k.lines[key]
+	for at := key; line == 0 && at != ""; line = k.lines[at] { // a key that is missing: the table where it should be
+		at, _, _ = cutLast(at)
+		if at == "" {
+			break
+		}
+	}
+	k.errs = append(k.errs, &Error{key, line, fmt.Sprintf(reason, args...)})
+}
+
+func cutLast(key string) (before, after string, found bool) {
+	if i := strings.LastIndexByte(key, '.'); i >= 0 {
+		return key[:i], key[i+1:], true
+	}
+	return "", key, false
+}
+
+// word returns the meaning of a word.
+func word[T any](k *check, key, value string, words map[string]T) T {
+	v, ok := words[value]
+	if !ok {
+		var known []string
+		for w := range words {
+			known = append(known, fmt.Sprintf("%q", w))
+		}
+		slices.Sort(known)
+		k.that(false, key, "%q is none of %s", value, strings.Join(known, ", "))
+	}
+	return v
+}
+
+const (
+	ownDescriptors   = 32 // neither clients' nor endpoints': streams, listeners, the runtime, discovery, takeover
+	leastDescriptors = 128
+	restPart         = 6 // see sidecar.restPart
+)
+
+func (k *check) config(c *Config) {
+	p := &c.Process
+	k.that(p.Cores >= 0, "process.cores", "%d is negative", p.Cores)
+	k.that(p.Memory.Bytes >= 16<<20, "process.memory", "under 16MiB nothing can be served")
+	k.that(p.Descriptors >= leastDescriptors, "process.descriptors", "%d is under %d", p.Descriptors, leastDescriptors)
+
+	_, _, err := net.SplitHostPort(c.Discovery.Address)
+	k.that(err == nil, "discovery.address", "%q is no host:port", c.Discovery.Address)
+	subscribe := word(k, "discovery.mode", c.Discovery.Mode, map[string]bool{"watch": false, "ask": true})
+
+	k.that(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
+
+	k.connections(c)
+	r := &c.Requests
+	k.that(r.Open >= 1, "requests.open", "%d: must be at least 1", r.Open)
+	k.that(r.InFlight >= 0, "requests.in_flight", "%d is negative", r.InFlight)
+	k.that(r.InFlightLeast >= 1, "requests.in_flight_least", "%d: must be at least 1", r.InFlightLeast)
+	k.that(r.InFlightMost >= r.InFlightLeast, "requests.in_flight_most", "%d is under in_flight_least, %d",
+		r.InFlightMost, r.InFlightLeast)
+
+	k.clients(c)
+	k.site(c, subscribe)
+}
+
+// connections checks the bounds on connections, and fills in those that are left to the descriptors.
+func (k *check) connections(c *Config) {
+	n, free := &c.Connections, c.Process.Descriptors-ownDescriptors
+	if n.Clients == 0 {
+		n.Clients = free / 2
+	}
+	if n.Endpoints == 0 {
+		n.Endpoints = max(1, free-n.Clients)
+	}
+	if n.AtRest == 0 {
+		n.AtRest = max(1, min(n.Clients, free/restPart))
+	}
+	k.that(n.Clients >= 1, "connections.clients", "%d: must be at least 1", n.Clients)
+	k.that(n.Endpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.Endpoints)
+	k.that(n.Clients+n.Endpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
+		"process.descriptors leaves", n.Clients, n.Endpoints, free)
+	k.that(n.AtRest >= 1 && n.AtRest <= n.Clients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
+		n.AtRest, n.Clients)
+	k.that(n.RestMost.Duration > 0, "connections.rest_most", "must be positive")
+	k.that(n.RestLeast.Duration <= n.RestMost.Duration, "connections.rest_least", "%v is over rest_most, %v", n.RestLeast, n.RestMost)
+}
+
+func (k *check) clients(c *Config) {
+	names := map[string]bool{}
+	uids, gids := map[uint32]string{}, map[uint32]string{}
+	for i := range c.Clients {
+		cl := &c.Clients[i]
+		at := func(key string) string { return fmt.Sprintf("client.%d.%s", i, key) }
+		k.that(cl.Name != "", at("name"), "is missing")
+		k.that(!names[cl.Name], at("name"), "%q is named twice", cl.Name)
+		names[cl.Name] = true
+		k.bounds(&cl.Bounds, at)
+		for of, ids := range map[string][]uint32{"uids": cl.UIDs, "gids": cl.GIDs} {
+			taken := map[string]map[uint32]string{"uids": uids, "gids": gids}[of]
+			for _, id := range ids {
+				k.that(taken[id] == "", at(of), "%d is client %q already", id, taken[id])
+				taken[id] = cl.Name
+			}
+		}
+	}
+	if c.Others != nil {
+		k.bounds(c.Others, func(key string) string { return "others." + key })
+	}
+	k.that(len(c.Listeners) > 0, "listener", "at least one is needed")
+	listeners, addresses := map[string]bool{}, map[string]bool{}
+	for i := range c.Listeners {
+		l := &c.Listeners[i]
+		at := func(key string) string { return fmt.Sprintf("listener.%d.%s", i, key) }
+		k.that(l.Name != "", at("name"), "is missing")
+		k.that(!listeners[l.Name], at("name"), "%q is named twice", l.Name)
+		listeners[l.Name] = true
+		k.that(!addresses[l.Address], at("address"), "%q is listened on twice", l.Address)
+		addresses[l.Address] = true
+		if network, address := l.Network(); network == "unix" {
+			k.that(strings.HasPrefix(address, "/"), at("address"), "%q: the path of a unix socket must begin with /", l.Address)
+			k.that(len(address) <= 107, at("address"), "the path of a unix socket has at most 107 bytes, not %d", len(address))
+			if l.Mode.Bits == 0 {
+				l.Mode.Bits = 0o600
+			}
+		} else {
+			host, _, err := net.SplitHostPort(address)
+			ip := net.ParseIP(host)
+			k.that(err == nil && ip != nil && ip.IsLoopback(), at("address"),
+				"%q is neither a loopback address with a port, as \"127.0.0.1:8080\", nor \"unix:/path\"", l.Address)
+			k.that(l.Mode.Bits == 0, at("mode"), "is for unix sockets only")
+			k.that(l.Client != "" || c.Others != nil, at("client"), "is missing, and there is no table others")
+		}
+		k.that(l.Client == "" || names[l.Client], at("client"), "no client is named %q", l.Client)
+	}
+}
+
+func (k *check) bounds(b *Bounds, at func(string) string) {
+	if b.Weight == 0 {
+		b.Weight = 1
+	}
+	k.that(b.Weight > 0 && !math.IsInf(b.Weight, 0), at("weight"), "%v: must be positive", b.Weight)
+	k.that(b.Connections >= 0, at("connections"), "%d is negative", b.Connections)
+	k.that(b.Open >= 0, at("open_requests"), "%d is negative", b.Open)
+	k.that(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
+	k.that(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
+	k.that(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
+	k.that(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= site.BodyMost, at("bytes_held"), "under %d a whole body does not fit", site.BodyMost)
+}
+
+// fields are the figures of a load report by their names on the sockets (BENCH).
+var fields = map[string]balancer.Field{"inflight": balancer.FieldInflight, "queue": balancer.FieldQueue,
+	"util": balancer.FieldUtil, "latency_ms": balancer.FieldLatency, "qps": balancer.FieldServed, "eps": balancer.FieldErrors}
+
+// site makes the settings of the decisions, and checks them under the file's own names.
+func (k *check) site(c *Config, subscribe bool) {
+	f, a, ru, s := &c.Fleet, &c.Attempts, &c.Rules, &c.Site
+	k.that(f.Instances >= 1, "fleet.instances", "%d: must be at least 1", f.Instances)
+	k.that(f.Position >= 0 && f.Position < max(1, f.Instances), "fleet.position", "%d: must be in 0..%d", f.Position, f.Instances-1)
+	zone := max(0, slices.Index(f.Zones, f.Zone))
+	k.that(f.Zone == "" && len(f.Zones) == 0 || slices.Contains(f.Zones, f.Zone), "fleet.zone", "%q is none of fleet.zones", f.Zone)
+	k.that(len(f.Zones) < 255, "fleet.zones", "at most 254")
+	k.that(len(f.Machines) < 255, "fleet.machines", "at most 254")
+	k.that(f.KeepAlive.Duration > 0, "fleet.keep_alive", "must be positive")
+	k.that(f.OverShareWorth >= 0 && f.OverShareWorth <= 1, "fleet.over_share_worth", "%v: must be in 0..1", f.OverShareWorth)
+	k.that(a.Most >= 1, "attempts.most", "%d: must be at least 1", a.Most)
+	k.that(a.DialTimeout.Duration > 0, "attempts.dial_timeout", "must be positive")
+	k.that(ru.ColdFrom > 0 && ru.ColdFrom <= 1, "rules.cold_from", "%v: must be in 0..1, not 0", ru.ColdFrom)
+	k.that(ru.FallMultiple > 0, "rules.fall_multiple", "%v: must be positive", ru.FallMultiple)
+	k.that(ru.AskWithin.Duration > 0, "rules.ask_within", "must be positive")
+	for key, v := range map[string]float64{"prices.cross_zone": c.Prices.CrossZone, "prices.probe": c.Prices.Probe,
+		"prices.waste": c.Prices.Waste, "prices.late_fail": c.Prices.LateFail, "goal.whole": c.Goal.Whole,
+		"goal.worst_window": c.Goal.WorstWindow, "goal.worst_class": c.Goal.WorstClass, "goal.worst_tenant": c.Goal.WorstTenant} {
+		k.that(v >= 0 && !math.IsInf(v, 0), key, "%v: must not be negative", v)
+	}
+	s.Zones, s.Kinds, s.KeepAlive = f.Zones, f.Machines, f.KeepAlive.Duration
+	s.Settings = balancer.Settings{
+		Balancers: f.Instances, Position: f.Position, Zone: zone, Zones: len(f.Zones), Kinds: len(f.Machines),
+		Subscribe: subscribe, OverShareWorth: f.OverShareWorth,
+		WorthByWork: word(k, "fleet.worth_by", f.WorthBy, map[string]bool{"request": false, "work": true}),
+		Limits: balancer.Limits{Cancel: a.Cancel, Probes: c.Probes.On, SecondCopies: a.SecondCopies,
+			RetryAfter: c.Refusals.RetryAfter, MaxAttempts: a.Most, MaxOpen: c.Requests.Open,
+			MaxRetryAfter: c.Refusals.RetryAfterMost.Micros(), DialTimeout: a.DialTimeout.Micros()},
+		Contract: balancer.Contract{DrainGrace: ru.DrainGrace.Micros(), ColdFrom: ru.ColdFrom, RampTime: ru.WarmAfter.Micros(),
+			FallMultiple: ru.FallMultiple, OverloadFor: ru.FallAfter.Micros(), AskWithin: ru.AskWithin.Micros()},
+		Prices: balancer.Prices{CrossZone: c.Prices.CrossZone, Probe: c.Prices.Probe, Waste: c.Prices.Waste, LateFail: c.Prices.LateFail},
+		Goal: balancer.Goal{Whole: c.Goal.Whole, WorstWindow: c.Goal.WorstWindow, WorstClass: c.Goal.WorstClass,
+			WorstTenant: c.Goal.WorstTenant},
+	}
+	k.reports(c)
+	k.classes(c)
+	for i, t := range c.Tenants {
+		at := func(key string) string { return fmt.Sprintf("tenant.%d.%s", i, key) }
+		k.that(t.Name != "", at("name"), "is missing")
+		k.that(!slices.Contains(s.Tenants, t.Name), at("name"), "%q is named twice", t.Name)
+		k.that(t.Allowance >= 0 && !math.IsInf(t.Allowance, 0), at("allowance"), "%v: must not be negative", t.Allowance)
+		k.that(t.Share >= 0 && t.Share <= 1, at("share"), "%v: must be in 0..1", t.Share)
+		s.Tenants = append(s.Tenants, t.Name)
+		s.Settings.Tenants = append(s.Settings.Tenants, balancer.Tenant{Name: t.Name, Allowance: t.Allowance, Share: t.Share})
+	}
+	if len(k.errs) == 0 {
+		err := s.Settings.Validate() // what it knows and this does not
+		k.that(err == nil, "", "%v", err)
+	}
+}
+
+// reports reads what endpoints tell of their load.
+func (k *check) reports(c *Config) {
+	s := &c.Site
+	s.OnAnswers = word(k, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
+	if c.Probes.Report == "none" {
+		k.that(len(c.Probes.Fields) == 0, "probes.fields", "mean nothing while probes.report is \"none\"")
+		return
+	}
+	k.that(len(c.Probes.Fields) > 0, "probes.fields", "are missing")
+	for i, name := range c.Probes.Fields {
+		k.that(!slices.Contains(c.Probes.Fields[:i], name), "probes.fields", "%q is named twice", name)
+		s.Fields = append(s.Fields, name)
+		s.Settings.Fields = append(s.Settings.Fields, word(k, "probes.fields", name, fields))
+	}
+}
+
+func (k *check) classes(c *Config) {
+	s := &c.Site
+	k.that(len(c.Classes) > 0, "class", "at least one is needed")
+	k.that(len(c.Classes) < 255, "class", "at most 254")
+	for i := range c.Classes {
+		cl := &c.Classes[i]
+		at := func(key string) string { return fmt.Sprintf("class.%d.%s", i, key) }
+		k.that(cl.Name != "" && !strings.ContainsAny(cl.Name, "/ ?#%"), at("name"),
+			"%q must be a part of a path: neither empty nor with / ? # %% or a space", cl.Name)
+		k.that(!slices.Contains(s.Classes, cl.Name), at("name"), "%q is named twice", cl.Name)
+		to := balancer.Class{Name: cl.Name, Aim: cl.Aim.Micros(), GiveUp: cl.GiveUp.Micros(), Worth: 1, LateWorth: cl.LateWorth}
+		to.Repeat = word(k, at("repeat"), cl.Repeat, map[string]balancer.Repeat{
+			"safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe})
+		if cl.Repeat == "keyed" {
+			to.Group = word(k, at("group"), cl.Group, map[string]balancer.Group{
+				"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell})
+			to.Window = cl.Window.Micros()
+			k.that(cl.Window.Duration > 0, at("window"), "is missing: for how long the group drops a repeat of a key")
+		} else {
+			k.that(cl.Group == "" && cl.Window.Duration == 0, at("group"), "group and window are for keyed classes only")
+		}
+		if cl.Worth != nil {
+			to.Worth = *cl.Worth
+		}
+		k.that(to.Worth >= 0 && !math.IsInf(to.Worth, 0), at("worth"), "%v: must not be negative", to.Worth)
+		k.that(cl.Aim.Duration > 0, at("aim"), "is missing")
+		k.that(cl.GiveUp.Duration >= cl.Aim.Duration, at("give_up"), "%v is under aim, %v", cl.GiveUp, cl.Aim)
+		k.that(cl.LateWorth >= 0 && cl.LateWorth <= 1, at("late_worth"), "%v: must be in 0..1", cl.LateWorth)
+		s.Classes = append(s.Classes, cl.Name)
+		s.Settings.Classes = append(s.Settings.Classes, to)
+	}
+}
--- /dev/null
+++ b/internal/config/units.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// badUnit is the error of a value that should have a unit.
+type badUnit struct{ text, reason string }
+
+func (e *badUnit) Error() string { return strconv.Quote(e.text) + " " + e.reason }
+
+func unitError(text []byte, reason string) error { return &badUnit{string(text), reason} }
+
+// Duration is a time with its unit, as "250ms" or "1m30s". It is never negative. Like the others here it is no
+// plain number, so that a number without a unit is an error and not a time in units of the program's choice.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	switch {
+	case err != nil:
+		return unitError(text, "is no time with a unit, as \"250ms\", \"15s\" or \"2m\"")
+	case v < 0:
+		return unitError(text, "is negative")
+	}
+	d.Duration = v
+	return nil
+}
+
+// Micros returns the duration in the decisions' unit.
+func (d Duration) Micros() int64 { return d.Microseconds() }
+
+// Size is a number of bytes with its unit, as "64KiB". It is never negative.
+type Size struct{ Bytes int64 }
+
+var sizes = []struct {
+	unit  string
+	bytes int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// UnmarshalText reads a size.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range sizes {
+		number, ok := strings.CutSuffix(string(text), u.unit)
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || v < 0 || v > math.MaxInt64/u.bytes {
+			break
+		}
+		s.Bytes = v * u.bytes
+		return nil
+	}
+	return unitError(text, "is no size with a unit, as \"512B\", \"64KiB\", \"4MiB\" or \"1GiB\"")
+}
+
+// Mode is the permissions of a file in octal, as "0660".
+type Mode struct{ Bits os.FileMode }
+
+// UnmarshalText reads permissions.
+func (m *Mode) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 8, 32)
+	if err != nil || v > 0o777 {
+		return unitError(text, "are no permissions in octal, as \"0660\"")
+	}
+	m.Bits = os.FileMode(v)
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,12 +8,15 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
+	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/site"
 )
 
@@ -53,6 +56,7 @@
 const (
 	Served     Verdict = iota
 	Refused            // trying again is harmless
+	Limited            // as Refused: its client asks more often than it may
 	Failed             // no such promise
 	FailedLate         // as Failed, and the last attempt ran out of time
 	IDOpen             // not taken: another request with its id is open
@@ -61,18 +65,23 @@
 // Answer is the final answer to a request.
 type Answer struct {
 	Verdict    Verdict
-	RetryAfter time.Duration // Refused only; 0 is no advice
+	RetryAfter time.Duration // Refused and Limited only; 0 is no advice
+	Reason     string        // of those, for people; may be empty
 	Reply      *Reply        // Served only
 }
 
 // Call is a client's request on its way through the core.
 type Call struct {
+	Client  *Client
 	ID      string           // the client's
 	In      balancer.Request // but for the ID, which the core gives
+	Arrived balancer.Micros  // when the request was whole
 	Attempt Attempt
 	Answer  chan Answer // has room for one; the one final answer comes here
 
 	// The core's own.
+	admitted balancer.Micros // when it went to the balancer; 0 before
+	inFlight int             // requests in flight then, itself included
 	attempts []*attempt
 	open     int // attempts without outcome
 	ended    bool
@@ -138,6 +147,7 @@
 	Site     *site.Site
 	Seed     uint64
 	Known    []Member // the list as last held; perhaps old
+	Sharing  Sharing
 	Upstream Upstream
 	Watch    func(on bool) // asks for the list's changes, or ends that; must not wait
 	Log      *slog.Logger
@@ -152,9 +162,14 @@
 	balancer *balancer.Balancer
 	ready    atomic.Bool // an endpoint is known to serve
 
+	shares *shares.Scheduler
+	limit  *limit.Limit // nil where the number in flight is not learned
+	rng    *rand.Rand
+	wake   *alarm // for shares
+	wakeAt balancer.Micros
+
 	lastID   uint64
 	calls    map[uint64]*Call
-	ids      map[string]*Call // the same by the clients' ids
 	byName   map[string]*endpoint
 	byNumber map[uint32]*endpoint
 	numbers  uint32
@@ -165,7 +180,10 @@
 // New returns a core, or the *balancer.SettingError of settings that make no sense.
 func New(c Config) (*Core, error) {
 	x := &Core{config: c, events: make(chan func(balancer.Micros), 256), over: make(chan struct{}),
-		calls: map[uint64]*Call{}, ids: map[string]*Call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
+		calls: map[uint64]*Call{}, rng: rand.New(rand.NewPCG(c.Seed, 1)), byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
+	if err := x.share(c.Sharing, c.Seed); err != nil {
+		return nil, err
+	}
 	var err error
 	x.balancer, err = balancer.New(c.Site.Settings, c.Seed, actions{x})
 	return x, err
@@ -195,12 +213,15 @@
 		for len(x.alarms) > 0 && x.alarms[0].at <= now {
 			heap.Pop(&x.alarms).(*alarm).ring(now)
 		}
+		x.pump(now)
 		if len(x.alarms) > 0 {
 			timer.Reset(clock.Duration(x.alarms[0].at - now))
 		}
 		select {
 		case event := <-x.events:
-			event(x.config.Clock.Now())
+			now = x.config.Clock.Now()
+			event(now)
+			x.pump(now)
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -213,15 +234,15 @@
 // Submit takes a client's request; the one final answer comes on c.Answer.
 func (x *Core) Submit(c *Call) {
 	x.post(func(now balancer.Micros) {
-		if x.ids[c.ID] != nil {
+		if c.Client.ids[c.ID] != nil {
 			c.ended = true
 			c.Answer <- Answer{Verdict: IDOpen}
 			return
 		}
 		x.lastID++
 		c.In.ID = x.lastID
-		x.calls[c.In.ID], x.ids[c.ID] = c, c
-		x.balancer.Request(now, c.In)
+		x.calls[c.In.ID], c.Client.ids[c.ID] = c, c
+		x.offer(now, c)
 	})
 }
 
@@ -230,7 +251,9 @@
 	x.post(func(now balancer.Micros) {
 		if !c.ended {
 			x.end(c)
-			x.balancer.ClientGone(now, c.In.ID)
+			if c.admitted > 0 {
+				x.balancer.ClientGone(now, c.In.ID)
+			}
 		}
 	})
 }
@@ -256,6 +279,7 @@
 	c.open--
 	c.late = r.Status == balancer.Timeout
 	if r.Status == balancer.OK && !c.ended {
+		x.learn(now, c)
 		x.finish(c, Answer{Verdict: Served, Reply: &r})
 	}
 	settled := c.ended
@@ -371,8 +395,9 @@
 
 // forget drops a request that is over once all its outcomes are in.
 func (x *Core) forget(c *Call) {
-	if c.ended && c.open == 0 {
+	if c.ended && c.open == 0 && x.calls[c.In.ID] == c {
 		delete(x.calls, c.In.ID)
-		delete(x.ids, c.ID)
+		delete(c.Client.ids, c.ID)
+		x.shares.Done(x.config.Clock.Now(), c.In.ID)
 	}
 }
--- a/internal/decide/conns/conns.go
+++ b/internal/decide/conns/conns.go
@@ -12,6 +12,7 @@
 import (
 	"container/list"
 	"fmt"
+	"slices"
 )
 
 // Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
@@ -44,6 +45,8 @@
 type Owner[T any] struct {
 	weight  float64
 	most    int
+	bytes   int64 // that its requests and answers may hold; 0 is no bound
+	held    int64
 	busy    int
 	resting *list.List // of *Conn[T], the one that has rested for longest first
 	place   int        // in Table.owners while any rests
@@ -52,11 +55,15 @@
 // Conns returns how many connections o has, and how many of them have an open request.
 func (o *Owner[T]) Conns() (all, busy int) { return o.busy + o.resting.Len(), o.busy }
 
+// Held returns how many bytes are held for o.
+func (o *Owner[T]) Held() int64 { return o.held }
+
 // Conn is a connection in a Table.
 type Conn[T any] struct {
 	Value T // the host's
 
 	owner *Owner[T]
+	held  int64
 	since Micros        // at rest since
 	place *list.Element // in owner.resting; nil while a request is open
 	gone  bool          // the table holds it no more
@@ -78,10 +85,15 @@
 	return &Table[T]{limits: l}, nil
 }
 
-// Owner returns a new owner of at most so many connections. Where connections at rest must make room, the
-// owner with the most of them for its weight gives way.
-func (t *Table[T]) Owner(weight float64, most int) *Owner[T] {
-	return &Owner[T]{weight: weight, most: most, resting: list.New()}
+// Owner returns a new owner of at most so many connections, and of so many bytes held; 0 bytes is no bound. Where
+// connections at rest must make room, the owner with the most of them for its weight gives way.
+func (t *Table[T]) Owner(weight float64, most int, bytes int64) *Owner[T] {
+	return &Owner[T]{weight: weight, most: most, bytes: bytes, resting: list.New()}
+}
+
+// Change gives an owner another weight and bounds. What it has stays.
+func (t *Table[T]) Change(o *Owner[T], weight float64, most int, bytes int64) {
+	o.weight, o.most, o.bytes = weight, most, bytes
 }
 
 // Len returns how many connections the table holds, and how many of them have an open request.
@@ -123,11 +135,30 @@
 	return true
 }
 
+// Hold notes that n bytes more are held for c, until it rests or is closed. If that is beyond what its owner may
+// hold it says no and notes nothing, unless they must be held all the same, as an answer that has come.
+func (t *Table[T]) Hold(c *Conn[T], n int64, must bool) bool {
+	o := c.owner
+	if c.gone || !must && o.bytes > 0 && o.held+n > o.bytes {
+		return false
+	}
+	c.held += n
+	o.held += n
+	return true
+}
+
+// release notes that nothing is held for c any more.
+func (t *Table[T]) release(c *Conn[T]) {
+	c.owner.held -= c.held
+	c.held = 0
+}
+
 // Rest notes that the request on c has its answer. It returns the connection that is to be closed for that, if
 // too many rest now.
 func (t *Table[T]) Rest(now Micros, c *Conn[T]) (closed *Conn[T]) {
 	c.owner.busy--
 	t.busy--
+	t.release(c)
 	if t.rest >= t.limits.AtRest {
 		closed = t.Spare()
 		t.Close(closed)
@@ -142,6 +173,7 @@
 		return
 	}
 	c.gone = true
+	t.release(c)
 	if c.place != nil {
 		t.lift(c)
 	} else {
@@ -150,6 +182,17 @@
 	}
 }
 
+// Resting calls f for each connection without an open request, the longest at rest of each owner first.
+func (t *Table[T]) Resting(f func(*Conn[T])) {
+	for _, o := range slices.Clone(t.owners) {
+		for at := o.resting.Front(); at != nil; {
+			c := at.Value.(*Conn[T])
+			at = at.Next()
+			f(c)
+		}
+	}
+}
+
 // Spare returns the connection that can best be done without, nil if each has an open request: of the owner
 // with the most at rest for its weight, the one that has rested for longest.
 func (t *Table[T]) Spare() *Conn[T] {
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/shares/shares.go
@@ -93,7 +93,7 @@
 	RetryAfter Micros // TurnAway only: after so long there may be room; 0 is no advice
 }
 
-// Client is one client's account. Get one from Add.
+// Client is one client's account. Make one with NewClient.
 type Client struct {
 	spec Spec
 	tag  float64 // virtual time at which its next request starts
@@ -157,8 +157,8 @@
 	return x
 }
 
-// Add returns the account of a new client.
-func (x *Scheduler) Add(spec Spec) (*Client, error) {
+// NewClient returns the account of a new client, for one Scheduler.
+func NewClient(spec Spec) (*Client, error) {
 	if err := spec.Validate(); err != nil {
 		return nil, fmt.Errorf("client %q: %w", spec.Name, err)
 	}
@@ -270,16 +270,20 @@
 		x.ready = append(x.ready[:0], x.ready[1:]...)
 		return d, true
 	}
-	// No answer of these could be in time any more, however soon their turn came.
-	if len(x.expiry) > 0 && now >= x.expiry[0].latest {
+	if len(x.backlog) == 0 {
+		return Decision{}, false
+	}
+	if x.s.Slots > 0 && x.inFlight >= x.s.Slots {
+		// Whoever cannot be in time any more, however soon its turn came, waits no longer. Where there is room
+		// nobody waits, and whether it is worth sending is not decided here.
 		q := x.expiry[0]
+		if now < q.latest {
+			return Decision{}, false
+		}
 		c := q.client
 		x.Done(now, q.ID)
 		return Decision{ID: q.ID, Verb: TurnAway, Reason: Late, RetryAfter: x.delay(c, q.cost)}, true
 	}
-	if len(x.backlog) == 0 || x.s.Slots > 0 && x.inFlight >= x.s.Slots {
-		return Decision{}, false
-	}
 	c := x.backlog[0]
 	q := c.wait[0]
 	x.virtual = max(x.virtual, c.tag)
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -8,43 +8,69 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/shares"
 )
 
-// client is a client's connection.
-type client struct {
+// Client is whose connections are bounded, and whose requests are shared out, together.
+type Client struct {
+	Name  string
+	share *core.Client
+	owner *conns.Owner[*conn] // guarded by connections.mu
+}
+
+// Spec is what a client may do. A bound of 0 is no bound.
+type Spec struct {
+	shares.Spec
+	Connections int
+	Bytes       int64 // that its requests and their answers may hold
+}
+
+// conn is a client's connection.
+type conn struct {
 	net.Conn
-	limit io.LimitedReader // what may still be read for the present request
-	r     *bufio.Reader
-	place *conns.Conn[*client] // guarded by clients.mu
+	client *Client
+	limit  io.LimitedReader // what may still be read for the present request
+	r      *bufio.Reader    // nil while nothing is being read: a connection at rest holds no buffer
+
+	// Guarded by connections.mu.
+	place   *conns.Conn[*conn]
+	parked  bool // it waits for the first byte of a request
+	offered int  // the release in which it was last offered to another process
 }
 
-// clients accepts connections and bounds their number. This package does that itself, not http.Server, since it
-// must know what else waits on a connection behind a request, and which connection it can best do without.
-type clients struct {
+// connections accepts clients' connections and bounds their number. This package does that itself, not
+// http.Server, since it must know what else waits on a connection behind a request, and which connection it can
+// best do without.
+type connections struct {
 	clock clock.Clock
-	talk  func(*client) // until the connection is to be closed
+	talk  func(*conn) // until the connection is to be closed
 	log   *slog.Logger
 
 	mu      sync.Mutex
-	table   *conns.Table[*client]
-	owner   *conns.Owner[*client] // of all of them
-	idle    *time.Timer           // looks for what has rested too long
+	table   *conns.Table[*conn]
+	idle    *time.Timer // looks for what has rested too long
 	closing bool
 	talks   sync.WaitGroup
+
+	detach   func(net.Conn, *Client) bool // takes connections at rest over; nil while none are handed over
+	releases int                          // how often that has begun
 }
 
-func newClients(l conns.Limits, clk clock.Clock, talk func(*client), log *slog.Logger) (*clients, error) {
-	table, err := conns.New[*client](l)
+func newConnections(l conns.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
+	table, err := conns.New[*conn](l)
 	if err != nil {
 		return nil, err
 	}
-	k := &clients{clock: clk, talk: talk, log: log, table: table, owner: table.Owner(1, l.Total)}
+	k := &connections{clock: clk, talk: talk, log: log, table: table}
 	k.idle = time.AfterFunc(time.Hour, k.expire)
 	return k, nil
 }
@@ -54,16 +80,20 @@
 	acceptWaitMost  = time.Second
 )
 
-// accept serves connections until ln is closed.
-func (k *clients) accept(ln net.Listener) error {
+// Identify tells whose connection one is. gone is called once the connection has ended; it may be nil. A
+// connection of nobody who may connect is an error.
+type Identify func(net.Conn) (c *Client, gone func(), err error)
+
+// accept serves connections until ln is closed or its deadline passes.
+func (k *connections) accept(ln net.Listener, identify Identify) error {
 	wait := acceptWaitLeast
 	for {
 		nc, err := ln.Accept()
 		switch {
 		case err == nil:
 			wait = acceptWaitLeast
-			k.add(nc)
-		case errors.Is(err, net.ErrClosed):
+			k.add(nc, identify)
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			// No descriptor is left, perhaps: one that is not needed makes room.
@@ -79,16 +109,26 @@
 	}
 }
 
-func (k *clients) add(nc net.Conn) {
-	c := &client{Conn: nc}
+// add takes a connection in, if it may be.
+func (k *connections) add(nc net.Conn, identify Identify) {
+	client, gone, err := identify(nc)
+	if err != nil {
+		k.log.Warn("connection turned away", "from", nc.RemoteAddr().String(), "error", err)
+		nc.Close()
+		return
+	}
+	if gone == nil {
+		gone = func() {}
+	}
+	c := &conn{Conn: nc, client: client}
 	c.limit.R = nc
-	c.r = bufio.NewReader(&c.limit)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	place, spare := k.table.Open(k.clock.Now(), k.owner, c)
+	place, spare := k.table.Open(k.clock.Now(), client.owner, c)
 	k.closeLocked(spare)
 	if place == nil {
 		nc.Close() // all others are waiting for their answers
+		gone()
 		return
 	}
 	c.place = place
@@ -96,12 +136,14 @@
 	k.talks.Go(func() {
 		k.talk(c)
 		k.mu.Lock()
-		defer k.mu.Unlock()
 		k.closeLocked(c.place)
+		k.mu.Unlock()
+		c.releaseReader()
+		gone()
 	})
 }
 
-func (k *clients) closeLocked(place *conns.Conn[*client]) {
+func (k *connections) closeLocked(place *conns.Conn[*conn]) {
 	if place != nil {
 		k.table.Close(place)
 		place.Value.Close()
@@ -109,13 +151,13 @@
 }
 
 // expire closes what has rested for too long.
-func (k *clients) expire() {
+func (k *connections) expire() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLocked()
 }
 
-func (k *clients) expireLocked() {
+func (k *connections) expireLocked() {
 	now := k.clock.Now()
 	for {
 		c, next := k.table.Expired(now)
@@ -130,14 +172,22 @@
 }
 
 // take notes that a connection has an open request, unless it has been closed meanwhile.
-func (k *clients) take(c *client) bool {
+func (k *connections) take(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.table.Take(c.place)
 }
 
+// hold notes that n bytes more are held for a connection, if its client may hold them; if they must be held, it
+// may not say no.
+func (k *connections) hold(c *conn, n int64, must bool) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Hold(c.place, n, must)
+}
+
 // rest notes that a request has its answer, and says whether the connection may stay open.
-func (k *clients) rest(c *client) bool {
+func (k *connections) rest(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closeLocked(k.table.Rest(k.clock.Now(), c.place))
@@ -146,7 +196,7 @@
 }
 
 // hush closes the connections without an open request; those with one close once they have their answers.
-func (k *clients) hush() {
+func (k *connections) hush() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
@@ -155,14 +205,118 @@
 	}
 }
 
+// ---- Handing connections over -----------------------------------------------
+//
+// A connection at rest, of whose next request no byte has been read, can go on in another process: to its client
+// nothing has happened. One with an open request follows once it has its answer.
+
+// release hands connections over as soon as they rest, from now on: to is called for each, and says whether it
+// has been taken; our own end of it is closed then. What is not taken goes on here. nil ends that.
+func (k *connections) release(to func(net.Conn, *Client) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.detach = to
+	if to == nil {
+		return
+	}
+	k.releases++
+	k.table.Resting(func(p *conns.Conn[*conn]) {
+		if c := p.Value; c.parked {
+			c.SetReadDeadline(past)
+		}
+	})
+}
+
+// park waits for the first byte of a request until a deadline, zero for as long as the connection may rest, and
+// says whether it has come. A connection that is handed over meanwhile is not used here any more.
+func (k *connections) park(c *conn, until time.Time) bool {
+	c.releaseReader()
+	if c.r != nil {
+		return true // it has come already
+	}
+	for {
+		if to := k.parking(c, until); to != nil {
+			if to(c.Conn, c.client) {
+				return false
+			}
+			continue
+		}
+		err := c.readable()
+		k.mu.Lock()
+		c.parked = false
+		again := k.detach != nil && c.offered != k.releases && errors.Is(err, os.ErrDeadlineExceeded)
+		k.mu.Unlock()
+		if !again {
+			return err == nil
+		}
+	}
+}
+
+// parking notes that a connection waits, or returns what it is to be handed to first.
+func (k *connections) parking(c *conn, until time.Time) (to func(net.Conn, *Client) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.detach != nil && c.offered != k.releases {
+		c.offered = k.releases
+		c.SetReadDeadline(time.Time{})
+		return k.detach
+	}
+	c.parked = true
+	c.SetReadDeadline(until)
+	return nil
+}
+
 // ---- A connection ----------------------------------------------------------
 
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
+// readers are the buffers of connections that are being read.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// reader returns the connection's buffer, a fresh one if it has none.
+func (c *conn) reader() *bufio.Reader {
+	if c.r == nil {
+		c.r = readers.Get().(*bufio.Reader)
+		c.r.Reset(&c.limit)
+	}
+	return c.r
+}
+
+// releaseReader gives the buffer back, if nothing is in it.
+func (c *conn) releaseReader() {
+	if c.r != nil && c.r.Buffered() == 0 {
+		c.r.Reset(nil) // it must not show one client's bytes to another, nor keep a connection alive
+		readers.Put(c.r)
+		c.r = nil
+	}
+}
+
+// readable waits until something can be read, or the connection has ended, without holding a buffer meanwhile.
+func (c *conn) readable() error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		_, err := c.reader().Peek(1) // not a socket
+		return err
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		for {
+			var b [1]byte
+			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if err != syscall.EINTR {
+				return err != syscall.EAGAIN
+			}
+		}
+	})
+}
+
 // watch returns a channel on which one error comes when the client leaves, or nil when it sends something
 // before it has its answer. To end the watch, set a deadline in the past.
-func (c *client) watch() <-chan error {
+func (c *conn) watch() <-chan error {
 	c.SetReadDeadline(time.Time{})
 	c.limit.N = 1
 	gone := make(chan error, 1)
@@ -181,10 +335,10 @@
 
 // turnAway answers what is not taken, and ends the connection's use. What the client may still be sending is
 // read for a little, since closing on unread bytes would take the answer away from it again.
-func (c *client) turnAway(code int, reason string) {
-	c.write(newResponse(code, reason), true)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
+func (c *conn) turnAway(r *response) {
+	c.write(r, true)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
 	}
 	c.SetReadDeadline(time.Now().Add(lingerTime))
 	io.CopyN(io.Discard, c.Conn, lingerMost)
@@ -201,8 +355,16 @@
 	return &response{code: code, header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, body: []byte(text + "\n")}
 }
 
+// retryAfter advises the client to come back after a time, if there is any advice.
+func (r *response) retryAfter(d time.Duration) *response {
+	if d > 0 {
+		r.header.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	}
+	return r
+}
+
 // write writes a whole answer in one piece, and says whether that went well.
-func (c *client) write(r *response, last bool) bool {
+func (c *conn) write(r *response, last bool) bool {
 	var b bytes.Buffer
 	b.Grow(256 + len(r.body))
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.code) + " " + http.StatusText(r.code) + "\r\n")
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -4,6 +4,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,6 +29,9 @@
 	"dunlinsail/internal/upstream"
 )
 
+// heldRetryAfter is advised to a client that has as many bytes held as it may: an answer or two take that long.
+const heldRetryAfter = 100 * time.Millisecond
+
 // answerMargin is kept from the client's time, so that the final answer reaches it before that is up.
 const answerMargin = 5 * time.Millisecond
 
@@ -54,7 +58,7 @@
 // Front takes clients' requests and gives their answers.
 type Front struct {
 	o       Options
-	clients *clients
+	conns   *connections
 	closing atomic.Bool
 }
 
@@ -62,48 +66,98 @@
 func New(o Options) (*Front, error) {
 	f := &Front{o: o}
 	var err error
-	f.clients, err = newClients(o.Limits, o.Clock, f.talk, o.Log)
+	f.conns, err = newConnections(o.Limits, o.Clock, f.talk, o.Log)
 	return f, err
 }
 
-// Accept serves connections until ln is closed.
-func (f *Front) Accept(ln net.Listener) error { return f.clients.accept(ln) }
+// NewClient returns a client of the front, or the error of a spec that makes no sense.
+func (f *Front) NewClient(s Spec) (*Client, error) {
+	share, err := f.o.Core.NewClient(s.Spec)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{Name: s.Name, share: share}
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	c.owner = f.conns.table.Owner(s.Weight, f.most(s), s.Bytes)
+	return c, nil
+}
+
+// ChangeClient gives a client another spec; what it has open stays open.
+func (f *Front) ChangeClient(c *Client, s Spec) error {
+	if err := f.o.Core.ChangeClient(c.share, s.Spec); err != nil {
+		return err
+	}
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	f.conns.table.Change(c.owner, s.Weight, f.most(s), s.Bytes)
+	return nil
+}
+
+func (f *Front) most(s Spec) int {
+	if s.Connections > 0 {
+		return s.Connections
+	}
+	return f.o.Limits.Total
+}
+
+// Held returns how many connections a client has, how many of them have an open request, and how many bytes are
+// held for it.
+func (f *Front) Held(c *Client) (all, busy int, bytes int64) {
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	all, busy = c.owner.Conns()
+	return all, busy, c.owner.Held()
+}
+
+// Conns returns how many connections there are, and how many of them have an open request.
+func (f *Front) Conns() (all, busy int) {
+	f.conns.mu.Lock()
+	defer f.conns.mu.Unlock()
+	return f.conns.table.Len()
+}
+
+// Accept serves connections until ln is closed, or until a deadline that was set on it.
+func (f *Front) Accept(ln net.Listener, identify Identify) error { return f.conns.accept(ln, identify) }
+
+// Adopt serves a connection that another process has handed over.
+func (f *Front) Adopt(nc net.Conn, identify Identify) { f.conns.add(nc, identify) }
+
+// Release hands connections over as soon as they rest, from now on: to is called for each, from many goroutines,
+// and says whether it has been taken; our own end of it is closed then. What is not taken goes on here. nil ends
+// that.
+func (f *Front) Release(to func(net.Conn, *Client) bool) { f.conns.release(to) }
 
 // Quiesce has each answer from now on close its connection, and closes the connections without an open request.
 // It may be called again, for those that have come meanwhile.
 func (f *Front) Quiesce() {
 	f.closing.Store(true)
-	f.clients.hush()
+	f.conns.hush()
 }
 
 // Wait waits until all connections have ended.
-func (f *Front) Wait() { f.clients.talks.Wait() }
+func (f *Front) Wait() { f.conns.talks.Wait() }
 
 // talk serves a connection, one request at a time.
-func (f *Front) talk(c *client) {
+func (f *Front) talk(c *conn) {
 	until := time.Now().Add(RequestTime)
-	for f.exchange(c, until) {
+	for f.conns.park(c, until) && f.exchange(c, until) {
 		until = time.Time{}
 	}
 }
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
 // gives its answer. It says whether the connection may serve another.
-func (f *Front) exchange(c *client, until time.Time) bool {
+func (f *Front) exchange(c *conn, until time.Time) bool {
 	c.limit.N = HeaderMost
 	if until.IsZero() {
-		c.SetReadDeadline(time.Time{}) // until it is closed for having rested too long
-		if _, err := c.r.Peek(1); err != nil {
-			return false
-		}
 		until = time.Now().Add(RequestTime)
 	}
 	c.SetReadDeadline(until)
-	r, err := http.ReadRequest(c.r)
-	at := f.o.Clock.Now()
+	r, err := http.ReadRequest(c.reader())
 	if err != nil {
 		if code := f.unreadable(c, err); code != 0 {
-			c.turnAway(code, http.StatusText(code))
+			c.turnAway(newResponse(code, http.StatusText(code)))
 		}
 		return false
 	}
@@ -113,18 +167,19 @@
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
 		last := r.Close || f.closing.Load()
-		return f.clients.take(c) && c.write(a, last) && f.clients.rest(c) && !last
+		return f.conns.take(c) && c.write(a, last) && f.conns.rest(c) && !last
 	}
-	k, err := f.parse(c, r, at)
+	k, err := f.parse(c, r)
 	if err != nil {
-		code := http.StatusBadRequest
+		a := newResponse(http.StatusBadRequest, err.Error())
 		if bad := (*badRequest)(nil); errors.As(err, &bad) {
-			code = bad.code
+			a.code = bad.code
+			a.retryAfter(bad.retryAfter)
 		}
-		c.turnAway(code, err.Error())
+		c.turnAway(a)
 		return false
 	}
-	if !f.clients.take(c) {
+	if !f.conns.take(c) {
 		return false
 	}
 	gone := c.watch()
@@ -133,14 +188,14 @@
 	case a := <-k.Answer:
 		c.SetReadDeadline(past)
 		if err := <-gone; err == nil {
-			c.turnAway(http.StatusBadRequest, surplus)
+			c.turnAway(newResponse(http.StatusBadRequest, surplus))
 			return false
 		}
 		return f.answer(c, a, r.Close)
 	case err := <-gone:
 		f.o.Core.Leave(k)
 		if err == nil {
-			c.turnAway(http.StatusBadRequest, surplus)
+			c.turnAway(newResponse(http.StatusBadRequest, surplus))
 		}
 		return false
 	}
@@ -149,7 +204,7 @@
 const surplus = "more was sent than the request's length tells"
 
 // unreadable returns the code for what is no request, 0 if the client has sent nothing or has gone.
-func (f *Front) unreadable(c *client, err error) int {
+func (f *Front) unreadable(c *conn, err error) int {
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -166,7 +221,7 @@
 }
 
 // answer gives the final answer, and says whether the connection may serve another request.
-func (f *Front) answer(c *client, a core.Answer, last bool) bool {
+func (f *Front) answer(c *conn, a core.Answer, last bool) bool {
 	var r *response
 	switch a.Verdict {
 	case core.Served:
@@ -177,10 +232,11 @@
 				r.header[k] = v
 			}
 		}
-	case core.Refused:
-		r = newResponse(http.StatusServiceUnavailable, "refused: try again later")
-		if a.RetryAfter > 0 {
-			r.header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+		f.conns.hold(c, int64(len(r.body)), true)
+	case core.Refused, core.Limited:
+		r = newResponse(http.StatusServiceUnavailable, "refused: "+cmp.Or(a.Reason, "try again later")).retryAfter(a.RetryAfter)
+		if a.Verdict == core.Limited {
+			r.code = http.StatusTooManyRequests
 		}
 	case core.IDOpen:
 		r = newResponse(http.StatusConflict, "a request with this X-Trace-Id is open")
@@ -190,23 +246,24 @@
 		r = newResponse(http.StatusBadGateway, "failed")
 	}
 	last = last || f.closing.Load() || a.Verdict == core.IDOpen
-	return c.write(r, last) && f.clients.rest(c) && !last
+	return c.write(r, last) && f.conns.rest(c) && !last
 }
 
 // badRequest says why a request is not taken.
 type badRequest struct {
-	code   int
-	reason string
+	code       int
+	reason     string
+	retryAfter time.Duration
 }
 
 func (e *badRequest) Error() string { return e.reason }
 
 func bad(code int, format string, args ...any) error {
-	return &badRequest{code, fmt.Sprintf(format, args...)}
+	return &badRequest{code: code, reason: fmt.Sprintf(format, args...)}
 }
 
 // parse reads the rest of a request and says what is wrong with it.
-func (f *Front) parse(conn *client, r *http.Request, at balancer.Micros) (*core.Call, error) {
+func (f *Front) parse(conn *conn, r *http.Request) (*core.Call, error) {
 	switch {
 	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
 		return nil, bad(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
@@ -263,16 +320,21 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	c := &core.Call{ID: id, Answer: make(chan core.Answer, 1), In: balancer.Request{Class: uint8(class), Tenant: f.tenant(r),
-		Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
-		Deadline: at + left - answerMargin.Microseconds()}}
+	c := &core.Call{Client: conn.client.share, ID: id, Answer: make(chan core.Answer, 1), In: balancer.Request{Class: uint8(class),
+		Tenant: f.tenant(r), Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1"}}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
 		c.In.Hint, c.In.HasHint = hint, true
 	}
+	if !f.conns.hold(conn, r.ContentLength, false) {
+		return nil, &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter,
+			reason: "refused: too many bytes of this client's requests are held"}
+	}
 	body, err := conn.body(r)
 	if err != nil {
 		return nil, err
 	}
+	c.Arrived = f.o.Clock.Now()
+	c.In.Deadline = c.Arrived + left - answerMargin.Microseconds()
 	out := &upstream.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{}, Body: body}
 	for k, v := range r.Header {
 		if !hopByHop(k, r.Header) && k != "X-Expires-In-Ms" {
@@ -288,7 +350,7 @@
 
 // body reads the body. What follows it before the answer is no request: clients send one at a time, so the
 // length is wrong, and who sent it must not be served with what an endpoint makes of a part.
-func (c *client) body(r *http.Request) ([]byte, error) {
+func (c *conn) body(r *http.Request) ([]byte, error) {
 	c.limit.N = max(0, r.ContentLength-int64(c.r.Buffered())) + 1
 	if expect := r.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") && r.ContentLength > 0 {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/platform"
@@ -72,6 +73,7 @@
 	core   *core.Core
 	source *discovery.Source
 	front  *http1.Front
+	client *http1.Client // the application
 }
 
 // assemble puts a sidecar together without starting it. dial opens connections to endpoints; nil is the usual
@@ -97,9 +99,16 @@
 	}
 	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Send: s.pool.Send,
 		Limits: clientLimits(c.Sockets), Log: log})
+	if err != nil {
+		return nil, err
+	}
+	s.client, err = s.front.NewClient(http1.Spec{Spec: shares.Spec{Name: c.Name, Weight: 1}})
 	return s, err
 }
 
+// identify says whose a connection is: the application's, the only client there is.
+func (s *sidecar) identify(net.Conn) (*http1.Client, func(), error) { return s.client, nil, nil }
+
 // watcher returns a watcher of a discovery that tells the core.
 func (s *sidecar) watcher(addr string, after int64) *discovery.Watcher {
 	return discovery.NewWatcher(addr, after, s.config.MemoryMB, func(ctx context.Context, l discovery.List) {
@@ -123,7 +132,7 @@
 	}
 
 	accepted := make(chan error, 1)
-	go func() { accepted <- s.front.Accept(ln) }()
+	go func() { accepted <- s.front.Accept(ln, s.identify) }()
 	s.log.Info("serving", "name", s.config.Name, "listen", ln.Addr().String())
 	select {
 	case err := <-accepted:
