Decide a takeover between two processes, and let a balancer's learning be handed on

Need: a restart is to cost nobody an answer. And two processes that are alive at once must not together push over a cold endpoint.

The core now passes lists over that are older than the one it holds.

A cold endpoint got no more across a handover, with the old balancer as busy as before, than without (bound: 1.25 times).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -128,7 +128,7 @@
 		len(r.attempts) >= b.s.Limits.MaxAttempts || e.State != Ready {
 		return false
 	}
-	if r.out > 0 && !b.s.Limits.SecondCopies || e.cold(now, b) && !b.coldRoom(now, e, r.work) {
+	if r.out > 0 && !b.s.Limits.SecondCopies || e.cold(now, b) && (b.handed || !b.coldRoom(now, e, r.work)) {
 		return false
 	}
 	c, first := b.class(r), r.bound()
--- /dev/null
+++ b/balancer/learned.go
@@ -0,0 +1,197 @@
+package balancer
+
+import "math"
+
+// Learned is what a balancer has learned, for another that takes its place: how long requests take and where,
+// windows of breakers, ejections, what cold endpoints may still get. A balancer that starts with nothing holds
+// empty windows; this removes that weakness where a process is replaced by another. Instants are kept as ages
+// against the moment at which it was taken, since the two may count time from different origins.
+type Learned struct {
+	Classes   []LearnedClass // in the order of the settings
+	Endpoints []LearnedEndpoint
+
+	Demand, SentWork, Refused float64 // rates a second, and a share
+	Work, Fleet               Average
+	Trend, Trust              float64
+	Lag, Usual, Service       Average
+	ReportsLate               bool
+	Watched, Renewed          float64
+	Tenants                   []float64 // rates a second, in the order of the settings
+}
+
+// LearnedClass is what is known of a class.
+type LearnedClass struct {
+	Work  Average
+	Asked float64 // a second
+	Good  Average
+}
+
+// LearnedEndpoint is what is known of an endpoint.
+type LearnedEndpoint struct {
+	ID      uint32 // the host's number, as in Endpoint
+	Start   Micros // its StartTime: what is known is of that process
+	RTT     Average
+	Pace    Average
+	PaceAge Micros
+
+	Cold    bool
+	ColdAge Micros  // since its warm-up began
+	Room    float64 // work that it may still get while cold
+
+	Whole Ejection
+	Parts []Ejection // of each class, then of each tenant
+
+	Base, Current float64  // the breaker's averages of latency
+	Window        [][3]int // the breaker's buckets, the oldest first: requests, accepts, failures
+}
+
+// Average is a moving average and how many samples it has.
+type Average struct{ V, N float64 }
+
+// Ejection is a run of failures, and the ejection that it led to.
+type Ejection struct {
+	Streak int
+	Left   Micros // ejected for so long yet
+	For    Micros
+	Trial  bool
+}
+
+func (a ewma) learned() Average { return Average{a.v, a.n} }
+
+func (a Average) restored() ewma { return ewma{sane(a.V), sane(a.N)} }
+
+func (m *meter) set(now Micros, rate float64) {
+	m.sum, m.at = sane(rate)*float64(meterSpan)/float64(second), now
+}
+
+// sane is a figure that may be used: no other than a finite one from 0 on was ever learned.
+func sane(x float64) float64 {
+	if !(x >= 0) || math.IsInf(x, 0) {
+		return 0
+	}
+	return x
+}
+
+// Learned returns what the balancer knows at an instant. Endpoints that are gone are left out.
+func (b *Balancer) Learned(now Micros) *Learned {
+	l := &Learned{Demand: b.demand.rate(now), SentWork: b.sentWork.rate(now), Refused: b.refused.v,
+		Work: b.work.learned(), Fleet: b.fleet.learned(), Trend: b.trend, Trust: b.trust, Lag: b.lag.learned(),
+		Usual: b.usual.learned(), Service: b.service.learned(), ReportsLate: b.reportsLate, Watched: b.watched, Renewed: b.renewed}
+	for i := range b.classes {
+		c := &b.classes[i]
+		l.Classes = append(l.Classes, LearnedClass{c.work.learned(), c.asked.rate(now), c.good.learned()})
+	}
+	for i := range b.tenants {
+		l.Tenants = append(l.Tenants, b.tenants[i].rate(now))
+	}
+	for _, e := range b.list {
+		if e.State == Gone {
+			continue
+		}
+		to := LearnedEndpoint{ID: e.Endpoint.ID, Start: e.StartTime, RTT: e.rtt.learned(), Pace: e.pace.learned(), PaceAge: now - e.paceAt,
+			Cold: e.cold(now, b), Whole: e.whole.learned(now), Base: e.br.base, Current: e.br.current}
+		if to.Cold {
+			b.coldRoom(now, e, b.work.v)
+			to.ColdAge, to.Room = now-e.coldFrom, e.room
+		}
+		for i := range e.ills {
+			to.Parts = append(to.Parts, e.ills[i].learned(now))
+		}
+		e.br.slide(now)
+		for i := e.br.head - buckets + 1; i <= e.br.head && e.br.requests > 0; i++ {
+			at := &e.br.ring[(i+buckets)%buckets]
+			to.Window = append(to.Window, [3]int{at.requests, at.accepts, at.failures})
+		}
+		l.Endpoints = append(l.Endpoints, to)
+	}
+	return l
+}
+
+func (i *ill) learned(now Micros) Ejection {
+	return Ejection{Streak: i.streak, Left: max(0, i.outTo-now), For: i.outFor, Trial: i.trial}
+}
+
+func (e Ejection) restored(now, age Micros) ill {
+	i := ill{streak: max(0, e.Streak), outFor: min(max(0, e.For), window)}
+	if left := min(e.Left, 2*window) - age; left > 0 {
+		i.outTo = now + left
+	}
+	return i // a trial's outcome went to the one who sent it
+}
+
+// Restore takes over what another balancer had learned so long ago, in place of what this one knows. It is meant
+// for one that has no request open. Endpoints are those of this balancer's list, by their IDs; what does not fit
+// the settings' classes or tenants is passed over, part by part.
+func (b *Balancer) Restore(now, age Micros, l *Learned) {
+	age = max(0, age)
+	b.demand.set(now, l.Demand)
+	b.sentWork.set(now, l.SentWork)
+	b.refused = ewma{min(1, sane(l.Refused)), settled}
+	b.work, b.fleet = l.Work.restored(), l.Fleet.restored()
+	b.trend, b.trust = min(trendMost, max(1/trendMost, sane(l.Trend))), min(1, sane(l.Trust))
+	b.lag, b.usual, b.service = l.Lag.restored(), l.Usual.restored(), l.Service.restored()
+	b.reportsLate, b.watched, b.renewed = l.ReportsLate, sane(l.Watched), sane(l.Renewed)
+	fits := len(l.Classes) == len(b.classes)
+	for i := range b.classes {
+		if fits && l.Classes[i].Work.V > 0 {
+			b.classes[i].work, b.classes[i].good = l.Classes[i].Work.restored(), l.Classes[i].Good.restored()
+			b.classes[i].asked.set(now, l.Classes[i].Asked)
+		}
+	}
+	if len(l.Tenants) == len(b.tenants) {
+		for i := range b.tenants {
+			b.tenants[i].set(now, l.Tenants[i])
+		}
+	}
+	for i := range l.Endpoints {
+		if e := b.byID[l.Endpoints[i].ID]; e != nil && e.StartTime == l.Endpoints[i].Start {
+			e.restore(now, age, &l.Endpoints[i], len(b.classes)+len(b.tenants))
+		}
+	}
+	b.strongAt = now
+}
+
+func (e *endpoint) restore(now, age Micros, l *LearnedEndpoint, parts int) {
+	e.rtt, e.pace, e.paceAt = l.RTT.restored(), l.Pace.restored(), now-l.PaceAge-age
+	e.whole = l.Whole.restored(now, age)
+	if len(l.Parts) == parts {
+		for i := range l.Parts {
+			e.ills[i] = l.Parts[i].restored(now, age)
+		}
+	}
+	if l.Cold {
+		// Its warm-up goes on, and so does the account of what it may get: nothing is given twice.
+		from := now - l.ColdAge - age
+		if e.isCold {
+			from = max(from, e.coldFrom)
+		}
+		e.isCold, e.coldFrom, e.room, e.roomAt = true, min(from, now), sane(l.Room), now
+	}
+	e.br = breaker{base: sane(l.Base), current: sane(l.Current)}
+	if len(l.Window) != buckets {
+		return
+	}
+	k := &e.br
+	k.slide(now)
+	const width = window / buckets
+	for i, at := range l.Window {
+		number := k.head - int64(buckets-1-i) - age/width
+		if number <= k.head-buckets || at[1] < 0 || at[2] < 0 || at[0] < at[1]+at[2] {
+			continue
+		}
+		k.ring[(number+buckets)%buckets] = bucket{at[0], at[1], at[2]}
+		k.requests += at[0]
+		k.accepts += at[1]
+	}
+}
+
+// HandOver says whether another balancer has taken over what this one had learned, and with it all that cold
+// endpoints may still get: this one sends them nothing more, or the two together could push one over.
+func (b *Balancer) HandOver(now Micros, yes bool) {
+	b.handed = yes
+	for _, e := range b.list {
+		if e.isCold {
+			e.room, e.roomAt = 0, now
+		}
+	}
+}
--- /dev/null
+++ b/balancer/learned_test.go
@@ -0,0 +1,237 @@
+package balancer
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// taught returns a balancer that has seen a mixed minute: slow, failing and cold endpoints among others.
+func taught(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder, Micros) {
+	t.Helper()
+	b, r := start(t, s, list)
+	rng := rand.New(rand.NewPCG(4, 4))
+	now := Micros(0)
+	for id := range uint64(4000) {
+		now += 2000
+		if id == 2000 { // one that starts anew
+			cold := list[len(list)-1]
+			cold.StartTime = now
+			list[len(list)-1] = cold
+			b.Members(now, ListDelta, []Endpoint{cold})
+		}
+		sent, first := len(r.sends), len(r.sends)
+		b.Request(now, Request{ID: id, Class: uint8(id % 5), Tenant: uint16(id % 2), Deadline: now + second})
+		for ; sent < len(r.sends); sent++ {
+			e := r.sends[sent].endpoint
+			status, latency := OK, Micros(1000*e)+rng.Int64N(3000)
+			if e == 2 && id%5 == 0 || e == 3 {
+				status = Error
+			}
+			b.Outcome(now+latency, Outcome{ID: id, Attempt: sent - first, Endpoint: e, Status: status,
+				Latency: latency, Settled: true})
+		}
+		if id%50 == 0 {
+			b.Probed(now, uint32(1+id/50%6), OK, 400, []float32{float32(id % 7)})
+		}
+	}
+	return b, r, now
+}
+
+func tenants(s Settings) Settings {
+	s.Tenants = []Tenant{{Name: "a", Allowance: 100, Share: 0.5}, {Name: "b", Allowance: 100, Share: 0.5}}
+	return s
+}
+
+// What one balancer has learned, another that takes its place judges by, at another origin of time.
+func TestLearnedIsTakenOver(t *testing.T) {
+	s := tenants(testSettings())
+	old, _, now := taught(t, s, ready(6))
+	text, err := json.Marshal(old.Learned(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learned
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	list := ready(6)
+	list[5].StartTime = old.byID[6].StartTime
+	const shift = 1_000 * second
+	next, err := New(s, 8, &recorder{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range list {
+		if list[i].StartTime != 0 {
+			list[i].StartTime += shift
+			l.Endpoints[i].Start += shift // the host's clock tells both
+		}
+	}
+	next.Start(now + shift)
+	next.Members(now+shift, ListCached, list)
+	next.Restore(now+shift, 0, &l)
+	out := 0
+	for id, a := range old.byID {
+		b := next.byID[id]
+		if x, y := old.predict(now, a, 5000), next.predict(now+shift, b, 5000); a.inflight == 0 && !b.hasLoad && !old.reportsLate &&
+			math.Abs(x/y-1) > 0.5 {
+			t.Errorf("endpoint %d: %v expected by the old one, %v by the new", id, x, y)
+		}
+		if x, y := a.paceNow(now, old), b.paceNow(now+shift, next); !near(x, y) {
+			t.Errorf("endpoint %d: pace %v, then %v", id, x, y)
+		}
+		a.br.slide(now)
+		b.br.slide(now + shift)
+		if x, y := a.br, b.br; x.requests != y.requests || x.accepts != y.accepts || x.base != y.base || id < 6 && x.requests == 0 {
+			t.Errorf("endpoint %d: breaker %d of %d, base %v; then %d of %d, base %v", id, x.accepts, x.requests, x.base,
+				y.accepts, y.requests, y.base)
+		}
+		for class := range uint8(5) {
+			r := &request{Request: Request{Class: class, Tenant: 1}}
+			if x, y := old.shuns(now, a, r), next.shuns(now+shift, b, r); x != y {
+				t.Errorf("endpoint %d, class %d: ejected %v, then %v", id, class, x, y)
+			} else if x {
+				out++
+			}
+		}
+		if a.cold(now, old) != b.cold(now+shift, next) || !near(a.warmth(now, old), b.warmth(now+shift, next)) {
+			t.Errorf("endpoint %d: warmth %v, then %v", id, a.warmth(now, old), b.warmth(now+shift, next))
+		}
+	}
+	if out == 0 || !old.byID[6].cold(now, old) {
+		t.Errorf("nothing was learned that could have been lost: %d ejected, cold %v", out, old.byID[6].cold(now, old))
+	}
+	if !near(old.demand.rate(now), next.demand.rate(now+shift)) || old.trend != next.trend {
+		t.Errorf("demand %v, then %v; trend %v, then %v", old.demand.rate(now), next.demand.rate(now+shift), old.trend, next.trend)
+	}
+	again := next.Learned(now + shift)
+	again.Endpoints, l.Endpoints = nil, nil
+	again.Classes, l.Classes = nil, nil
+	if a, b := *again, l; math.Abs(a.Demand-b.Demand) > 1e-6 || !reflect.DeepEqual(a.Lag, b.Lag) {
+		t.Errorf("told on: %+v, was %+v", a, b)
+	}
+}
+
+// The account of a cold endpoint goes over whole: the old balancer sends it nothing more, and what both have sent
+// together stays within what one alone might have.
+func TestColdEndpointIsHandedOver(t *testing.T) {
+	s := testSettings()
+	s.Limits.Probes = false
+	play := func(handOver bool) (sent int) {
+		list := ready(4)
+		b, r := start(t, s, list)
+		cold := Endpoint{ID: 9, Zone: 0, Cell: 9, Share: 1, StartTime: 1}
+		now := Micros(1)
+		b.Members(now, ListDelta, []Endpoint{cold})
+		var old *Balancer
+		var oldR *recorder
+		id := uint64(0)
+		ask := func(b *Balancer, r *recorder) {
+			id++
+			b.Request(now, request0(id, 0, now))
+			if n := len(r.sends) - 1; n >= 0 && r.sends[n].id == id {
+				if r.sends[n].endpoint == 9 {
+					sent++
+				}
+				b.Outcome(now+900, Outcome{ID: id, Endpoint: r.sends[n].endpoint, Status: OK, Latency: 2000, Settled: true})
+			}
+		}
+		for i := range 3000 {
+			now += 1000
+			if i == 1500 && handOver {
+				l := b.Learned(now)
+				b.HandOver(now, true)
+				old, oldR = b, r
+				b, r = start(t, s, list)
+				b.Members(now, ListCached, append(ready(4), cold))
+				b.Restore(now, 0, l)
+			}
+			ask(b, r)
+			if old != nil { // it has as much to do as before, for a while
+				ask(old, oldR)
+			}
+		}
+		if old != nil {
+			before := sent
+			for range 500 {
+				now += 1000
+				ask(old, oldR)
+			}
+			if sent != before {
+				t.Errorf("the old balancer sent the cold endpoint %d requests after it had handed over", sent-before)
+			}
+			old.HandOver(now, false)
+			for range 3000 {
+				now += 1000
+				ask(old, oldR)
+			}
+			if sent == before {
+				t.Error("after it took over again it sends the endpoint nothing")
+			}
+			sent = before
+		}
+		return sent
+	}
+	alone, both := play(false), play(true)
+	if both > alone*5/4+2 {
+		t.Errorf("a cold endpoint got %d requests across a handover, %d without", both, alone)
+	}
+}
+
+// An endpoint that has started anew since owes nothing to what was learned of its former process.
+func TestRestartedEndpointOwesNothing(t *testing.T) {
+	s := tenants(testSettings())
+	old, _, now := taught(t, s, ready(6))
+	l := old.Learned(now)
+	next, _ := start(t, s, ready(6))
+	next.Members(now, ListDelta, []Endpoint{{ID: 3, Zone: 1, Cell: 1, StartTime: now - 1}})
+	next.Restore(now, 0, l)
+	if e := next.byID[3]; e.br.requests != 0 || e.whole.streak != 0 || !e.cold(now, next) {
+		t.Errorf("%+v", e)
+	}
+}
+
+// Figures that no balancer has told change nothing for the worse: no panic, no endpoint lost.
+func TestRestoreOfNonsense(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 9))
+	odd := func() float64 {
+		return []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5, 0, 1e300, 7}[rng.IntN(7)]
+	}
+	oddM := func() Micros { return []Micros{math.MinInt64 / 4, -1, 0, 5, math.MaxInt64 / 4}[rng.IntN(5)] }
+	for range 300 {
+		avg := func() Average { return Average{odd(), odd()} }
+		l := &Learned{Demand: odd(), SentWork: odd(), Refused: odd(), Work: Average{5000, 1}, Fleet: avg(), Trend: odd(), Trust: odd(),
+			Lag: avg(), Usual: avg(), Service: avg(), Watched: odd(), Renewed: odd(), Tenants: []float64{odd(), odd()}}
+		for range rng.IntN(7) {
+			l.Classes = append(l.Classes, LearnedClass{avg(), odd(), avg()})
+		}
+		for id := range uint32(8) {
+			e := LearnedEndpoint{ID: id, RTT: avg(), Pace: avg(), PaceAge: oddM(), Cold: rng.IntN(2) == 0, ColdAge: oddM(), Room: odd(),
+				Whole: Ejection{int(oddM()), oddM(), oddM(), true}, Base: odd(), Current: odd()}
+			for range rng.IntN(9) {
+				e.Parts = append(e.Parts, Ejection{int(oddM()), oddM(), oddM(), false})
+			}
+			for range []int{0, 3, buckets}[rng.IntN(3)] {
+				e.Window = append(e.Window, [3]int{rng.IntN(9) - 4, rng.IntN(9) - 4, rng.IntN(9) - 4})
+			}
+			l.Endpoints = append(l.Endpoints, e)
+		}
+		b, r := start(t, tenants(testSettings()), ready(6))
+		b.Restore(20*second, oddM(), l)
+		for id := range uint64(50) {
+			now := 60*second + Micros(id)*second
+			b.Request(now, request0(id, uint8(id%5), now))
+			for _, s := range r.sends {
+				if s.id == id {
+					b.Outcome(now+1000, Outcome{ID: id, Endpoint: s.endpoint, Status: OK, Latency: 1000, Settled: true})
+				}
+			}
+		}
+		if len(r.sends) < 25 {
+			t.Fatalf("%d of 50 requests were sent after %+v", len(r.sends), l)
+		}
+	}
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -23,6 +23,7 @@
 	asked  int         // probes that they wait for
 	round  uint32      // of held requests
 	listed bool        // discovery has answered since the start
+	handed bool        // what cold endpoints may still get is another balancer's (HandOver)
 
 	subscribed bool
 	askAt      Micros // next call of discovery, unless subscribed by then
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,12 +141,20 @@
 	Started    balancer.Micros // Unix time of its latest start; 0 for long ago
 }
 
+// Told is news of the list of endpoints. The generations of one discovery only grow.
+type Told struct {
+	Kind       balancer.ListKind
+	Generation int64
+	Anew       bool // it comes from another discovery, whose generations are its own
+	Members    []Member
+}
+
 // Config is what a Core needs.
 type Config struct {
 	Clock    clock.Clock
 	Site     *site.Site
 	Seed     uint64
-	Known    []Member // the list as last held; perhaps old
+	Known    Told // the list as last held; perhaps old. Its Kind is not read
 	Sharing  Sharing
 	Upstream Upstream
 	Watch    func(on bool) // asks for the list's changes, or ends that; must not wait
@@ -160,7 +168,8 @@
 	events   chan func(now balancer.Micros)
 	over     chan struct{} // closed once the core takes no more events
 	balancer *balancer.Balancer
-	ready    atomic.Bool // an endpoint is known to serve
+	ready    atomic.Bool   // an endpoint is known to serve
+	isReady  chan struct{} // closed from then on
 
 	shares *shares.Scheduler
 	limit  *limit.Limit // nil where the number in flight is not learned
@@ -168,19 +177,22 @@
 	wake   *alarm // for shares
 	wakeAt balancer.Micros
 
-	lastID   uint64
-	calls    map[uint64]*Call
-	byName   map[string]*endpoint
-	byNumber map[uint32]*endpoint
-	numbers  uint32
-	alarms   alarms
-	order    uint64
+	lastID     uint64
+	calls      map[uint64]*Call
+	byName     map[string]*endpoint
+	byNumber   map[uint32]*endpoint
+	numbers    uint32
+	list       map[string]Member // as held, by name
+	generation int64             // of the list
+	alarms     alarms
+	order      uint64
 }
 
 // New returns a core, or the *balancer.SettingError of settings that make no sense.
 func New(c Config) (*Core, error) {
-	x := &Core{config: c, events: make(chan func(balancer.Micros), 256), over: make(chan struct{}),
-		calls: map[uint64]*Call{}, rng: rand.New(rand.NewPCG(c.Seed, 1)), byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
+	x := &Core{config: c, events: make(chan func(balancer.Micros), 256), over: make(chan struct{}), isReady: make(chan struct{}),
+		calls: map[uint64]*Call{}, rng: rand.New(rand.NewPCG(c.Seed, 1)), byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{},
+		list: map[string]Member{}}
 	if err := x.share(c.Sharing, c.Seed); err != nil {
 		return nil, err
 	}
@@ -205,7 +217,9 @@
 	defer close(x.over)
 	now := x.config.Clock.Now()
 	x.balancer.Start(now)
-	x.members(now, balancer.ListCached, x.config.Known)
+	known := x.config.Known
+	known.Kind, known.Anew = balancer.ListCached, true
+	x.members(now, known)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -258,11 +272,11 @@
 	})
 }
 
-// Members tells a list of endpoints, unless ctx has ended by the time it is heard.
-func (x *Core) Members(ctx context.Context, kind balancer.ListKind, list []Member) {
+// Members tells news of the list, unless ctx has ended by the time it is heard.
+func (x *Core) Members(ctx context.Context, told Told) {
 	x.post(func(now balancer.Micros) {
 		if ctx.Err() == nil {
-			x.members(now, kind, list)
+			x.members(now, told)
 		}
 	})
 }
@@ -305,11 +319,21 @@
 	x.outcome(now, a, Reply{Status: status, At: now})
 }
 
-// members passes a list on, with names turned into numbers.
-func (x *Core) members(now balancer.Micros, kind balancer.ListKind, list []Member) {
-	entries := make([]balancer.Endpoint, 0, len(list))
+// members passes news of the list on, with names turned into numbers. What is older than the list held is passed
+// over: it would bring back endpoints that are known to be draining.
+func (x *Core) members(now balancer.Micros, told Told) {
+	if told.Kind == balancer.ListFailed {
+		x.balancer.Members(now, told.Kind, nil)
+		return
+	}
+	if told.Generation < x.generation && !told.Anew {
+		x.config.Log.Warn("stale list passed over", "generation", told.Generation, "have", x.generation)
+		return
+	}
+	x.generation = told.Generation
+	entries := make([]balancer.Endpoint, 0, len(told.Members))
 	named := map[string]bool{}
-	for _, m := range list {
+	for _, m := range told.Members {
 		if m.Name == "" || m.Addr == "" && m.State != balancer.Gone {
 			x.config.Log.Warn("entry of the list passed over: no id or no address", "id", m.Name)
 			continue
@@ -328,22 +352,25 @@
 			e.to.Drop()
 			e.addr, e.to = m.Addr, x.config.Upstream.Target(m.Addr)
 		}
+		x.list[m.Name] = m
 		x.setState(now, m.Name, e, m.State)
 		entries = append(entries, balancer.Endpoint{ID: e.number, Zone: index(x.config.Site.Zones, m.Zone),
 			Kind: index(x.config.Site.Kinds, m.Kind), Cell: m.Cell, State: m.State, Share: m.Weight,
 			StartTime: m.Started})
 	}
-	if kind == balancer.ListFull || kind == balancer.ListCached {
+	if told.Kind != balancer.ListDelta {
 		for name, e := range x.byName {
 			if !named[name] {
 				x.setState(now, name, e, balancer.Gone)
 			}
 		}
 	}
-	x.balancer.Members(now, kind, entries)
+	x.balancer.Members(now, told.Kind, entries)
 	for _, e := range x.byName {
 		if e.state == balancer.Ready {
-			x.ready.Store(true)
+			if !x.ready.Swap(true) {
+				close(x.isReady)
+			}
 			break
 		}
 	}
@@ -362,6 +389,7 @@
 	if state == balancer.Gone {
 		e.to.Drop()
 		delete(x.byName, name)
+		delete(x.list, name)
 		delete(x.byNumber, e.number)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -34,7 +34,7 @@
 func running(t *testing.T, known ...Member) (*Core, upstreams) {
 	t.Helper()
 	u := upstreams{made: make(chan string, 16)}
-	x, err := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Known: known, Upstream: u,
+	x, err := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Known: Told{Generation: 7, Members: known}, Upstream: u,
 		Watch: func(bool) {}, Log: peer.Quiet})
 	if err != nil {
 		t.Fatal(err)
@@ -60,19 +60,36 @@
 	if x.Ready() {
 		t.Error("ready without an endpoint")
 	}
-	x.Members(context.Background(), balancer.ListDelta, []Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}})
+	x.Members(context.Background(), Told{Kind: balancer.ListDelta, Generation: 8,
+		Members: []Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
 	x.sync(t)
 	if !x.Ready() {
 		t.Error("not ready with an endpoint")
 	}
 }
 
+// A list older than the one held changes nothing, unless another discovery tells it.
+func TestStaleList(t *testing.T) {
+	x, u := running(t, Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
+	up := []Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
+	x.Members(context.Background(), Told{Kind: balancer.ListFull, Generation: 6, Members: up})
+	x.sync(t)
+	if x.Ready() {
+		t.Error("an old list brought a draining endpoint back")
+	}
+	x.Members(context.Background(), Told{Kind: balancer.ListFull, Generation: 1, Anew: true, Members: up})
+	x.sync(t)
+	if !x.Ready() || len(u.made) != 1 {
+		t.Error("another discovery's list was passed over")
+	}
+}
+
 // What a watch tells after its end is not heard: it may be older than what the next one has told.
 func TestEndedWatchIsNotHeard(t *testing.T) {
 	x, u := running(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	x.Members(ctx, balancer.ListFull, []Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}})
+	x.Members(ctx, Told{Kind: balancer.ListFull, Generation: 8, Members: []Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
 	x.sync(t)
 	if x.Ready() || len(u.made) != 0 {
 		t.Error("a list of an ended watch was heard")
--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Learned returns the limit and how long requests of each class take alone, zero where that is not known.
+func (l *Limit) Learned() (value float64, alone []float64) {
+	for i := range l.alone {
+		alone = append(alone, l.alone[i].mean)
+	}
+	return l.value, alone
+}
+
+// Restore takes over what another had learned: there is nothing to be measured first. What makes no sense, or is
+// not known of every class, is passed over.
+func (l *Limit) Restore(now Micros, value float64, alone []float64) {
+	ok := value >= 1 && !math.IsInf(value, 0) && len(alone) == len(l.alone)
+	for _, a := range alone {
+		ok = ok && a > 0 && !math.IsInf(a, 0)
+	}
+	if !ok {
+		return
+	}
+	for i, a := range alone {
+		l.alone[i].mean, l.alone[i].n = a, quietCount
+	}
+	l.value = min(float64(l.s.Most), max(float64(l.s.Least), value))
+	l.start, l.quiet, l.quietSeen, l.quietNext = false, false, 0, l.next(now)
+	l.reset(now)
+}
+
 // begin lowers the limit for a measurement.
 func (l *Limit) begin(now Micros) {
 	l.quiet, l.quietSeen, l.quietUntil = true, 0, now+quietFor
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/shares/shares.go
@@ -263,6 +263,27 @@
 	k.mean = max(1, k.mean)
 }
 
+// Times is how long requests of a class take.
+type Times struct{ Mean, Dev float64 }
+
+// Learned returns how long requests of each class take, zero where that is not known.
+func (x *Scheduler) Learned() []Times {
+	all := make([]Times, len(x.classes))
+	for i, k := range x.classes {
+		if k.known {
+			all[i] = Times{k.mean, k.dev}
+		}
+	}
+	return all
+}
+
+// Restore takes over what another had learned of a class. What makes no sense is passed over.
+func (x *Scheduler) Restore(number int, t Times) {
+	if t.Mean >= 1 && t.Dev >= 0 && !math.IsInf(t.Mean, 0) && !math.IsInf(t.Dev, 0) {
+		x.classes[number] = class{t.Mean, t.Dev, true}
+	}
+}
+
 // Next returns one decision that is due, until there is none.
 func (x *Scheduler) Next(now Micros) (Decision, bool) {
 	if n := len(x.ready); n > 0 {
--- /dev/null
+++ b/internal/decide/takeover/takeover_test.go
@@ -0,0 +1,267 @@
+package takeover
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var times = Times{Ready: 10, Answer: 2, Drain: 5}
+
+// wire is one direction between the two: what is under way, and whether its sender has hung up behind that.
+type wire struct {
+	messages []Event
+	ended    bool
+}
+
+// side is one process.
+type side struct {
+	alive  bool
+	hung   bool // it has ended its connection
+	stop   bool // it was told to stop
+	accept bool
+	cold   bool // it may give cold endpoints what they may get
+	over   bool
+}
+
+// state is all there is at an instant.
+type state struct {
+	giver      Giver
+	taker      Taker
+	g, t       side
+	toG, toT   wire
+	started    bool // the taker's host could serve
+	cut, taken bool
+	path       string
+}
+
+func (s state) key() string {
+	s.path = ""
+	s.giver.deadline = min(1, s.giver.deadline) // any time may have passed
+	s.taker.deadline = min(1, s.taker.deadline)
+	return fmt.Sprintf("%+v", s)
+}
+
+func (s state) clone() state {
+	s.toG.messages = slices.Clone(s.toG.messages)
+	s.toT.messages = slices.Clone(s.toT.messages)
+	return s
+}
+
+func (s *state) giverSteps(steps []Step) {
+	for _, x := range steps {
+		switch x.Action {
+		case Send:
+			if !s.g.hung {
+				s.toT.messages = append(s.toT.messages, x.Message)
+			}
+		case Hang:
+			s.g.hung, s.toT.ended = true, true
+		case Close:
+			s.g.accept, s.g.cold = false, false
+		case Reopen:
+			s.g.accept, s.g.cold = true, true
+		case Drain:
+			s.g.accept, s.g.cold = false, false
+		case End:
+			s.g.over, s.g.alive, s.g.accept, s.g.cold = true, false, false, false
+			s.g.hung, s.toT.ended = true, true
+		}
+	}
+}
+
+func (s *state) takerSteps(steps []Step) {
+	for _, x := range steps {
+		switch x.Action {
+		case Send:
+			if !s.t.hung {
+				s.toG.messages = append(s.toG.messages, x.Message)
+			}
+		case Hang:
+			s.t.hung, s.toG.ended = true, true
+		case Take:
+			s.taken = true
+		case Accept, Cold:
+			s.t.accept, s.t.cold = true, true
+		case Fail:
+			s.t.over, s.t.alive = true, false
+			s.t.hung, s.toG.ended = true, true
+		}
+	}
+}
+
+// next returns every state that may follow.
+func (s state) next() []state {
+	var all []state
+	add := func(name string, change func(*state)) {
+		n := s.clone()
+		change(&n)
+		n.path += " " + name
+		all = append(all, n)
+	}
+	if s.g.alive {
+		if len(s.toG.messages) > 0 && !s.g.hung {
+			add("g<"+s.toG.messages[0].String(), func(n *state) {
+				e := n.toG.messages[0]
+				n.toG.messages = n.toG.messages[1:]
+				n.giverSteps(n.giver.Step(0, e))
+			})
+		} else if s.toG.ended && !s.g.hung {
+			add("g<broken", func(n *state) { n.giverSteps(n.giver.Step(0, Broken)) })
+		}
+		if d := s.giver.Deadline(); d != 0 {
+			add("g:wake", func(n *state) { n.giverSteps(n.giver.Step(d, Wake)) })
+		}
+		if !s.g.stop {
+			add("g:stop", func(n *state) { n.g.stop = true; n.giverSteps(n.giver.Step(0, Stop)) })
+		}
+		if s.giver.state == releasing || s.giver.state == draining {
+			add("g:drained", func(n *state) { n.giverSteps(n.giver.Step(0, Drained)) })
+		}
+		add("g:killed", func(n *state) {
+			n.g.alive, n.g.accept, n.g.cold, n.g.hung, n.toT.ended = false, false, false, true, true
+		})
+	}
+	if s.t.alive {
+		if len(s.toT.messages) > 0 && !s.t.hung {
+			add("t<"+s.toT.messages[0].String(), func(n *state) {
+				e := n.toT.messages[0]
+				n.toT.messages = n.toT.messages[1:]
+				n.takerSteps(n.taker.Step(0, e, ""))
+			})
+		} else if s.toT.ended && !s.t.hung {
+			add("t<broken", func(n *state) { n.takerSteps(n.taker.Step(0, Broken, "")) })
+		}
+		if s.taker.state == starting && !s.started {
+			add("t:started", func(n *state) { n.started = true; n.takerSteps(n.taker.Step(0, Started, "")) })
+		}
+		if d := s.taker.Deadline(); d != 0 {
+			add("t:wake", func(n *state) { n.takerSteps(n.taker.Step(d, Wake, "")) })
+		}
+		if !s.t.stop {
+			add("t:stop", func(n *state) {
+				n.t.stop = true
+				n.takerSteps(n.taker.Step(0, Stop, ""))
+				n.t.accept = false
+			})
+		}
+		add("t:killed", func(n *state) {
+			n.t.alive, n.t.accept, n.t.cold, n.t.hung, n.toG.ended = false, false, false, true, true
+		})
+	}
+	return all
+}
+
+// Whatever is killed, stopped, late or lost, at whatever moment: never do two accept at once or spend what cold
+// endpoints may get, and unless both are gone or somebody was told to stop, one serves in the end.
+func TestEveryInterleaving(t *testing.T) {
+	first := state{giver: Giver{Times: times}, taker: Taker{Times: times}, g: side{alive: true, accept: true, cold: true},
+		t: side{alive: true}}
+	first.takerSteps(first.taker.Begin(0))
+	seen := map[string]bool{first.key(): true}
+	queue := []state{first}
+	ends, handed := 0, 0
+	for len(queue) > 0 {
+		s := queue[0]
+		queue = queue[1:]
+		if s.g.accept && s.t.accept {
+			t.Fatalf("both accept after:%s", s.path)
+		}
+		if s.g.cold && s.t.cold {
+			t.Fatalf("both give to cold endpoints after:%s", s.path)
+		}
+		// What is left to happen by itself, with nobody killed, stopped or late any more?
+		quiet := true
+		for _, n := range s.next() {
+			step := n.path[strings.LastIndexByte(n.path, ' ')+1:]
+			if step != "g:stop" && step != "t:stop" && step != "g:killed" && step != "t:killed" {
+				quiet = false
+			}
+			if !seen[n.key()] {
+				seen[n.key()] = true
+				queue = append(queue, n)
+			}
+		}
+		if !quiet {
+			continue
+		}
+		ends++
+		switch stopped := s.g.stop || s.t.stop; {
+		case s.t.accept && s.taken && s.g.over:
+			handed++
+		case s.g.accept || s.t.accept:
+		case stopped || !s.g.alive && !s.t.alive:
+		default:
+			t.Fatalf("nobody serves after:%s\n%+v", s.path, s)
+		}
+		if s.g.alive && s.giver.Busy() {
+			t.Fatalf("the giver is stuck while %v after:%s", &s.giver, s.path)
+		}
+		if s.t.alive && !s.t.accept && !s.t.stop {
+			t.Fatalf("the taker is stuck while %v after:%s", &s.taker, s.path)
+		}
+	}
+	if len(seen) < 500 || ends < 20 || handed == 0 {
+		t.Errorf("only %d states, %d ends, %d of them handed over: too little was tried", len(seen), ends, handed)
+	}
+	t.Logf("%d states, %d ends", len(seen), ends)
+}
+
+// The usual way, step by step.
+func TestUsualWay(t *testing.T) {
+	g, k := Giver{Times: times}, Taker{Times: times}
+	log := func(steps []Step) string {
+		var b strings.Builder
+		for _, s := range steps {
+			if s.Action == Send {
+				fmt.Fprintf(&b, "send %v ", s.Message)
+			} else {
+				fmt.Fprintf(&b, "%v ", s.Action)
+			}
+		}
+		return strings.TrimSpace(b.String())
+	}
+	for _, tc := range []struct {
+		got  []Step
+		want string
+	}{
+		{k.Begin(0), "send hello"},
+		{g.Step(0, Hello), "send offer"},
+		{k.Step(1, Offer, ""), "start"},
+		{k.Step(4, Started, ""), "send ready"},
+		{g.Step(4, Ready), "close send go"},
+		{k.Step(5, Go, ""), "take send prepared"},
+		{g.Step(5, Prepared), "send yours release"},
+		{k.Step(5, Yours, ""), "accept"},
+		{g.Step(7, Drained), "send done hang end"},
+		{k.Step(7, Done, ""), "hang"},
+	} {
+		if got := log(tc.got); got != tc.want {
+			t.Errorf("%q, want %q", got, tc.want)
+		}
+	}
+	if k.Deadline() != 0 || g.Deadline() != 0 || !k.Serving() {
+		t.Errorf("giver %v, taker %v", &g, &k)
+	}
+}
+
+// A taker that hangs is let go at its deadline and not before, and told so.
+func TestTakerThatHangs(t *testing.T) {
+	g := Giver{Times: times}
+	g.Step(0, Hello)
+	if !g.Busy() || g.Deadline() != 10 {
+		t.Fatalf("%v until %d", &g, g.Deadline())
+	}
+	if steps := g.Step(9, Wake); steps != nil {
+		t.Errorf("before the time: %v", steps)
+	}
+	steps := g.Step(10, Wake)
+	if len(steps) != 2 || steps[0].Message != Refused || steps[0].Reason == "" || g.Busy() {
+		t.Errorf("at the time: %+v, then %v", steps, &g)
+	}
+	// The next one finds it as before.
+	if steps := g.Step(11, Hello); len(steps) != 1 || steps[0].Message != Offer {
+		t.Errorf("the next: %+v", steps)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -42,16 +42,17 @@
 	StartedMs int64   `json:"startedAtMs"`
 }
 
-// Kind says how the list's entries are to be read.
-func (l *List) Kind() balancer.ListKind {
+// Told returns the list as the core takes it.
+func (l *List) Told() core.Told {
+	t := core.Told{Kind: balancer.ListDelta, Generation: l.Generation, Members: l.members()}
 	if l.Reset {
-		return balancer.ListFull
+		t.Kind = balancer.ListFull
 	}
-	return balancer.ListDelta
+	return t
 }
 
-// Members returns the list's entries as the core takes them.
-func (l *List) Members() []core.Member {
+// members returns the list's entries as the core takes them.
+func (l *List) members() []core.Member {
 	all := make([]core.Member, 0, len(l.Instances))
 	for _, in := range l.Instances {
 		state, known := states[in.Lifecycle]
@@ -79,7 +80,7 @@
 const Unlisted = -1
 
 // Teller is told of each list. What it is told when the context has ended comes too late.
-type Teller func(ctx context.Context, l List)
+type Teller func(ctx context.Context, t core.Told)
 
 // Watcher holds a watch at one discovery and tells of each line.
 type Watcher struct {
@@ -171,7 +172,7 @@
 			continue
 		}
 		w.after, heard = l.Generation, true
-		w.tell(ctx, l)
+		w.tell(ctx, l.Told())
 	}
 	if err := lines.Err(); err != nil {
 		return heard, cmp.Or(context.Cause(ctx), err)
@@ -192,7 +193,9 @@
 	}
 	l.Reset = true
 	w.after = l.Generation
-	w.tell(ctx, l)
+	told := l.Told()
+	told.Anew = true
+	w.tell(ctx, told)
 	return nil
 }
 
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -718,7 +718,8 @@
 				answer <- resp.StatusCode
 			}()
 			peer.Within(t, dialing, "dial")
-			s.parts.core.Members(context.Background(), tc.news.Kind(), tc.news.Members())
+			tc.news.Generation = 8
+			s.parts.core.Members(context.Background(), tc.news.Told())
 			if tc.wait {
 				<-time.After(time.Duration(cfg.Site.Settings.Contract.DrainGrace) * time.Microsecond)
 			}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -87,12 +87,12 @@
 		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
 	w := s.watcher(c.Discovery, c.Known.Generation)
 	if c.Site.Settings.Subscribe {
-		s.source = discovery.Once(w, func() { s.core.Members(context.Background(), balancer.ListFailed, nil) })
+		s.source = discovery.Once(w, func() { s.core.Members(context.Background(), core.Told{Kind: balancer.ListFailed}) })
 	} else {
 		s.source = discovery.Keep(w)
 	}
 	var err error
-	s.core, err = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Known: c.Known.Members(),
+	s.core, err = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Known: c.Known.Told(),
 		Upstream: s.pool, Watch: s.source.Watch, Log: log})
 	if err != nil {
 		return nil, err
@@ -111,11 +111,11 @@
 
 // watcher returns a watcher of a discovery that tells the core.
 func (s *sidecar) watcher(addr string, after int64) *discovery.Watcher {
-	return discovery.NewWatcher(addr, after, s.config.MemoryMB, func(ctx context.Context, l discovery.List) {
-		s.core.Members(ctx, l.Kind(), l.Members())
-	}, s.log)
+	return discovery.NewWatcher(addr, after, s.config.MemoryMB, s.tell, s.log)
 }
 
+func (s *sidecar) tell(ctx context.Context, t core.Told) { s.core.Members(ctx, t) }
+
 func (s *sidecar) serve(stop context.Context, ln net.Listener, reload <-chan os.Signal,
 	read func() (*platform.Config, error)) error {
 	// What runs beside the front ends after it, so that all that it has taken is answered first.
