Let a taker wait for its word however long, and make the walk see who is stuck

Cause: the walk over a takeover's interleavings counted a state as unfinished as long as a deadline could ring, so it never saw one that only rings.

Change: the walk also judges states in which nothing but time-outs is left. It then found a fault: a taker whose time ran out with Yours already under way gave up, the giver ended behind it, and nobody served. A prepared taker now waits without a deadline, since the giver has one.

--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -234,7 +234,7 @@
 	asking takerState = iota
 	starting
 	waiting  // for Go
-	prepared // waits for Yours
+	prepared // waits for Yours, however long: it may be on its way, and the giver may end right behind it
 	accepting
 	alone // there is no giver any more
 	failed
@@ -306,7 +306,7 @@
 				t.to(alone, 0)
 				return []Step{{Action: Accept}}
 			case t.gone:
-				t.to(prepared, now+t.Times.Answer)
+				t.to(prepared, 0)
 				return []Step{{Action: Take}, send(Prepared)}
 			}
 			t.to(waiting, now+t.Times.Answer)
@@ -315,7 +315,7 @@
 	case waiting:
 		switch e {
 		case Go:
-			t.to(prepared, now+t.Times.Answer)
+			t.to(prepared, 0)
 			return []Step{{Action: Take}, send(Prepared)}
 		case Broken:
 			t.to(alone, 0)
--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -32,6 +32,8 @@
 	g, t       side
 	toG, toT   wire
 	started    bool // the taker's host could serve
+	killed     bool // one of the two was
+	late       bool // the taker's time was up
 	cut, taken bool
 	path       string
 }
@@ -120,6 +122,7 @@
 			add("g:drained", func(n *state) { n.giverSteps(n.giver.Step(0, Drained)) })
 		}
 		add("g:killed", func(n *state) {
+			n.killed = true
 			n.g.alive, n.g.accept, n.g.cold, n.g.hung, n.toT.ended = false, false, false, true, true
 		})
 	}
@@ -137,7 +140,7 @@
 			add("t:started", func(n *state) { n.started = true; n.takerSteps(n.taker.Step(0, Started, "")) })
 		}
 		if d := s.taker.Deadline(); d != 0 {
-			add("t:wake", func(n *state) { n.takerSteps(n.taker.Step(d, Wake, "")) })
+			add("t:wake", func(n *state) { n.late = true; n.takerSteps(n.taker.Step(d, Wake, "")) })
 		}
 		if !s.t.stop {
 			add("t:stop", func(n *state) {
@@ -147,6 +150,7 @@
 			})
 		}
 		add("t:killed", func(n *state) {
+			n.killed = true
 			n.t.alive, n.t.accept, n.t.cold, n.t.hung, n.toG.ended = false, false, false, true, true
 		})
 	}
@@ -171,36 +175,44 @@
 		if s.g.cold && s.t.cold {
 			t.Fatalf("both give to cold endpoints after:%s", s.path)
 		}
-		// What is left to happen by itself, with nobody killed, stopped or late any more?
-		quiet := true
+		// What is left to happen by itself, with nobody killed or stopped any more, and what without a time-out?
+		quiet, still := true, true
 		for _, n := range s.next() {
 			step := n.path[strings.LastIndexByte(n.path, ' ')+1:]
-			if step != "g:stop" && step != "t:stop" && step != "g:killed" && step != "t:killed" {
+			fault := step == "g:stop" || step == "t:stop" || step == "g:killed" || step == "t:killed"
+			if !fault && n.key() != s.key() {
 				quiet = false
+				still = still && strings.HasSuffix(step, ":wake")
 			}
 			if !seen[n.key()] {
 				seen[n.key()] = true
 				queue = append(queue, n)
 			}
 		}
-		if !quiet {
+		if !still {
 			continue
 		}
 		ends++
-		switch stopped := s.g.stop || s.t.stop; {
+		switch {
 		case s.t.accept && s.taken && s.g.over:
 			handed++
 		case s.g.accept || s.t.accept:
-		case stopped || !s.g.alive && !s.t.alive:
+		case s.g.stop || s.t.stop || !s.g.alive && !s.t.alive && s.killed: // meant so, or nobody is left
 		default:
 			t.Fatalf("nobody serves after:%s\n%+v", s.path, s)
 		}
+		if !quiet {
+			continue
+		}
 		if s.g.alive && s.giver.Busy() {
 			t.Fatalf("the giver is stuck while %v after:%s", &s.giver, s.path)
 		}
 		if s.t.alive && !s.t.accept && !s.t.stop {
 			t.Fatalf("the taker is stuck while %v after:%s", &s.taker, s.path)
 		}
+		if !s.t.alive && s.g.alive && !s.g.accept && !s.g.stop && !s.t.stop {
+			t.Fatalf("the giver serves no more after:%s", s.path)
+		}
 	}
 	if len(seen) < 500 || ends < 20 || handed == 0 {
 		t.Errorf("only %d states, %d ends, %d of them handed over: too little was tried", len(seen), ends, handed)
@@ -246,6 +258,22 @@
 	}
 }
 
+// A taker that is told to stop while connections are still handed to it says so: the giver must not serve on.
+func TestStopWhileConnectionsAreHandedOver(t *testing.T) {
+	g, k := Giver{Times: times, state: releasing, deadline: 9}, Taker{Times: times, state: accepting}
+	steps := k.Step(1, Stop, "")
+	if len(steps) != 1 || steps[0].Message != Stopping {
+		t.Fatalf("the taker: %+v", steps)
+	}
+	steps = g.Step(1, Stopping)
+	if len(steps) != 2 || steps[1].Action != Drain || g.Deadline() != 9 {
+		t.Errorf("the giver: %+v until %d", steps, g.Deadline())
+	}
+	if steps = g.Step(2, Broken); steps != nil {
+		t.Errorf("then: %+v", steps)
+	}
+}
+
 // A taker that hangs is let go at its deadline and not before, and told so.
 func TestTakerThatHangs(t *testing.T) {
 	g := Giver{Times: times}
