Judge a takeover's end more strictly in the walk over its interleavings

Change: a stop of the giver excuses only what a kill or a time-out explains besides. No change of the decisions.

--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -33,7 +33,7 @@
 	toG, toT   wire
 	started    bool // the taker's host could serve
 	killed     bool // one of the two was
-	late       bool // the taker's time was up
+	late       bool // a time was up
 	cut, taken bool
 	path       string
 }
@@ -113,7 +113,7 @@
 			add("g<broken", func(n *state) { n.giverSteps(n.giver.Step(0, Broken)) })
 		}
 		if d := s.giver.Deadline(); d != 0 {
-			add("g:wake", func(n *state) { n.giverSteps(n.giver.Step(d, Wake)) })
+			add("g:wake", func(n *state) { n.late = true; n.giverSteps(n.giver.Step(d, Wake)) })
 		}
 		if !s.g.stop {
 			add("g:stop", func(n *state) { n.g.stop = true; n.giverSteps(n.giver.Step(0, Stop)) })
@@ -197,7 +197,9 @@
 		case s.t.accept && s.taken && s.g.over:
 			handed++
 		case s.g.accept || s.t.accept:
-		case s.g.stop || s.t.stop || !s.g.alive && !s.t.alive && s.killed: // meant so, or nobody is left
+		case s.t.stop: // meant so
+		case s.g.stop && (s.killed || s.late): // the only one left, or the last, was told to stop
+		case !s.g.alive && !s.t.alive && s.killed: // nobody is left
 		default:
 			t.Fatalf("nobody serves after:%s\n%+v", s.path, s)
 		}
