Add dunlinsaild: one instance for a host's client processes, on TCP and unix sockets

Need: every client process carries its own sidecar today. One instance is to serve many, and to know who each is.

A client is known by its listener, or by the uid, gid or process that the kernel tells on a unix socket; each has its weight and its bounds on connections, open requests, bytes held and requests a second. SIGHUP changes bounds and discovery, and names the tables that wait for the next process. A core without a known list takes the first one's endpoints for long up, not for just started.

Tests over loopback: who a client is (5 cases), each bound beside another client that is served, SIGTERM with an open request, drain_within, SIGHUP, sockets left behind; race detector and goleak clean, 5 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -311,6 +312,27 @@
 	return Errors{{"", 0, err.Error()}}
 }
 
+// Differs returns the tables that differ between two files and cannot be changed while a daemon serves: all but the
+// clients' bounds and where discovery is.
+func (c *Config) Differs(next *Config) []string {
+	var all []string
+	a, b := reflect.ValueOf(*c), reflect.ValueOf(*next)
+	for i := range a.NumField() {
+		name := a.Type().Field(i).Tag.Get("toml")
+		x, y := a.Field(i).Interface(), b.Field(i).Interface()
+		switch name {
+		case "-", "client", "others":
+			continue
+		case "discovery":
+			x, y = c.Discovery.Mode, next.Discovery.Mode
+		}
+		if !reflect.DeepEqual(x, y) {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
 // check gathers what is wrong.
 type check struct {
 	lines map[string]int
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,7 +154,7 @@
 	Clock    clock.Clock
 	Site     *site.Site
 	Seed     uint64
-	Known    Told // the list as last held; perhaps old. Its Kind is not read
+	Known    Told // the list as last held; perhaps old. Its Kind is not read; a negative Generation is no list
 	Sharing  Sharing
 	Upstream Upstream
 	Watch    func(on bool) // asks for the list's changes, or ends that; must not wait
@@ -217,9 +217,13 @@
 	defer close(x.over)
 	now := x.config.Clock.Now()
 	x.balancer.Start(now)
-	known := x.config.Known
-	known.Kind, known.Anew = balancer.ListCached, true
-	x.members(now, known)
+	if known := x.config.Known; known.Generation >= 0 {
+		known.Kind, known.Anew = balancer.ListCached, true
+		x.members(now, known)
+	} else {
+		// No list is known: what the first one names has not just appeared.
+		x.generation = known.Generation
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- /dev/null
+++ b/internal/daemon/clients.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/front/http1"
+)
+
+// clients tells whose a connection is: by the listener that it uses and, on a unix socket, by what the kernel says
+// of the process that connected (SO_PEERCRED, unix(7)). That holds however the connection goes on: handed over to
+// another process, it is told the same there.
+type clients struct {
+	front *http1.Front
+
+	mu      sync.Mutex
+	config  *config.Config
+	byName  map[string]*http1.Client
+	others  *http1.Client // nil where those who are not named are turned away
+	process map[process]*single
+}
+
+// process is one client process among those that a rule counts one by one.
+type process struct {
+	client string
+	pid    int32
+}
+
+// single is the account of one process.
+type single struct {
+	client *http1.Client
+	conns  int
+	since  time.Time // without any connection
+}
+
+// singleTime is how long the account of a process without connections is kept: what it may ask in a second must not
+// begin anew with each connection.
+const singleTime = 10 * time.Second
+
+const othersName = "others"
+
+func newClients(front *http1.Front, c *config.Config) (*clients, error) {
+	k := &clients{front: front, byName: map[string]*http1.Client{}, process: map[process]*single{}}
+	_, err := k.change(c)
+	return k, err
+}
+
+func spec(name string, b *config.Bounds) http1.Spec {
+	return http1.Spec{Spec: b.Share(name), Connections: b.Connections, Bytes: b.Bytes.Bytes}
+}
+
+// change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
+// the client that they have.
+func (k *clients) change(c *config.Config) (changed int, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	was := map[string]config.Client{}
+	if k.config != nil {
+		for _, cl := range k.config.Clients {
+			was[cl.Name] = cl
+		}
+	}
+	set := func(to *http1.Client, s http1.Spec) (*http1.Client, error) {
+		changed++
+		if to == nil {
+			return k.front.NewClient(s)
+		}
+		return to, k.front.ChangeClient(to, s)
+	}
+	byName := map[string]*http1.Client{}
+	for i := range c.Clients {
+		cl := &c.Clients[i]
+		to := k.byName[cl.Name]
+		if old, ok := was[cl.Name]; !ok || old.Bounds != cl.Bounds {
+			if to, err = set(to, spec(cl.Name, &cl.Bounds)); err != nil {
+				return changed, err
+			}
+			for p, s := range k.process {
+				if p.client == cl.Name {
+					if err := k.front.ChangeClient(s.client, spec(s.client.Name, &cl.Bounds)); err != nil {
+						return changed, err
+					}
+				}
+			}
+		}
+		byName[cl.Name] = to
+	}
+	others := k.others
+	switch {
+	case c.Others == nil:
+		others = nil
+	case k.config == nil || k.config.Others == nil || *k.config.Others != *c.Others:
+		if others, err = set(others, spec(othersName, c.Others)); err != nil {
+			return changed, err
+		}
+	}
+	k.config, k.byName, k.others = c, byName, others
+	return changed, nil
+}
+
+// identify returns the way to tell whose the connections of a listener are.
+func (k *clients) identify(l *config.Listener) http1.Identify {
+	return func(nc net.Conn) (*http1.Client, func(), error) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		rule, pid, err := k.ruleLocked(l, nc)
+		switch {
+		case err != nil:
+			return nil, nil, err
+		case rule == nil && k.others == nil:
+			return nil, nil, errNobody
+		case rule == nil:
+			return k.others, nil, nil
+		case !rule.PerProcess || pid == 0:
+			return k.byName[rule.Name], nil, nil
+		}
+		return k.singleLocked(rule, pid)
+	}
+}
+
+var errNobody = errors.New("no client of the configuration, and there is no table others")
+
+// ruleLocked finds the client that a connection belongs to, nil for the others, and the process that connected, 0
+// where that is not known.
+func (k *clients) ruleLocked(l *config.Listener, nc net.Conn) (*config.Client, int32, error) {
+	var pid int32
+	if network, _ := l.Network(); network == "unix" {
+		peer, err := peerOf(nc)
+		if err != nil {
+			return nil, 0, fmt.Errorf("who connects is not known: %w", err)
+		}
+		pid = peer.Pid
+		for i := range k.config.Clients {
+			if cl := &k.config.Clients[i]; slices.Contains(cl.UIDs, peer.Uid) {
+				return cl, pid, nil
+			}
+		}
+		for i := range k.config.Clients {
+			if cl := &k.config.Clients[i]; slices.Contains(cl.GIDs, peer.Gid) {
+				return cl, pid, nil
+			}
+		}
+	}
+	for i := range k.config.Clients {
+		if cl := &k.config.Clients[i]; cl.Name == l.Client {
+			return cl, pid, nil
+		}
+	}
+	return nil, pid, nil
+}
+
+// singleLocked returns the account of one process.
+func (k *clients) singleLocked(rule *config.Client, pid int32) (*http1.Client, func(), error) {
+	for p, s := range k.process {
+		if s.conns == 0 && time.Since(s.since) > singleTime {
+			delete(k.process, p)
+		}
+	}
+	p := process{rule.Name, pid}
+	s := k.process[p]
+	if s == nil {
+		client, err := k.front.NewClient(spec(fmt.Sprintf("%s/%d", rule.Name, pid), &rule.Bounds))
+		if err != nil {
+			return nil, nil, err
+		}
+		s = &single{client: client}
+		k.process[p] = s
+	}
+	s.conns++
+	return s.client, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		s.conns--
+		s.since = time.Now()
+	}, nil
+}
+
+// peerOf returns what the kernel says of the process that connected.
+func peerOf(nc net.Conn) (*syscall.Ucred, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("no socket")
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var peer *syscall.Ucred
+	if broken := raw.Control(func(fd uintptr) {
+		peer, err = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	}); broken != nil {
+		return nil, broken
+	}
+	return peer, err
+}
+
+// Held is what is held for one client.
+type Held struct {
+	Client      string
+	Connections int
+	Open        int
+	Bytes       int64
+}
+
+// held tells what is held for each client.
+func (k *clients) held() []Held {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var all []Held
+	add := func(c *http1.Client) {
+		conns, open, bytes := k.front.Held(c)
+		all = append(all, Held{c.Name, conns, open, bytes})
+	}
+	for _, c := range k.byName {
+		add(c)
+	}
+	if k.others != nil {
+		add(k.others)
+	}
+	for _, s := range k.process {
+		add(s.client)
+	}
+	slices.SortFunc(all, func(a, b Held) int {
+		if a.Client < b.Client {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,274 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/standin/roster"
+)
+
+// Clients on TCP and on a unix socket are served by one instance, each counted as who it is.
+func TestServesItsClients(t *testing.T) {
+	w := newWorld(t, 2, endpoint.Options{})
+	d := start(t, w.config(t))
+	tcp, unix := dial(t, "tcp", d.addrs["desk"]), dial(t, "unix", d.addrs["local"])
+	for _, k := range []*link{tcp, unix} {
+		for _, class := range []string{"look", "book", "pay"} {
+			text := request(class, 900, "12345")
+			resp, body := k.ask(t, text)
+			id := strings.TrimPrefix(strings.Split(text, "\r\n")[2], "X-Trace-Id: ")
+			if resp.StatusCode != 200 || !strings.HasPrefix(body, id+" ") {
+				t.Errorf("%s: %s %q, want the answer to %s", class, resp.Status, body, id)
+			}
+		}
+	}
+	if resp, body := tcp.ask(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("ready: %s %q", resp.Status, body)
+	}
+	want := map[string]int{"desk": 1, "each/" + strconv.Itoa(os.Getpid()): 1, "each": 0}
+	for _, h := range d.clients.held() {
+		if n, ok := want[h.Client]; !ok || n != h.Connections {
+			t.Errorf("%+v, want connections of %v", h, want)
+		}
+		delete(want, h.Client)
+	}
+	if len(want) > 0 {
+		t.Errorf("no account of %v", want)
+	}
+}
+
+// Who a process is, the kernel says; who is nobody is turned away, or is one of the others where there are such.
+func TestWhoAClientIs(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	uid, gid := strconv.Itoa(os.Getuid()), strconv.Itoa(os.Getgid())
+	named := "name = \"each\"\n"
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"uid", named, named + "uids = [" + uid + "]\n", "each/"},
+		{"gid", named, named + "gids = [" + gid + "]\n", "each/"},
+		{"another's uid", "client = \"each\"\n", "\n", ""},
+		{"others", "client = \"each\"\n", "\n[others]\n", "others"},
+		{"uid before gid", "[[client]]\nname = \"each\"\n", "[[client]]\nname = \"group\"\ngids = [" + gid + "]\n" +
+			"[[client]]\nname = \"each\"\nuids = [" + uid + "]\n", "each/"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := start(t, w.config(t, tc.old, tc.new))
+			k := dial(t, "unix", d.addrs["local"])
+			if tc.want == "" {
+				k.SetReadDeadline(time.Now().Add(peer.Soon))
+				if _, err := k.Read(make([]byte, 1)); err != io.EOF && !strings.Contains(err.Error(), "reset") {
+					t.Errorf("nobody's connection: %v, want it closed", err)
+				}
+				return
+			}
+			if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+				t.Fatalf("%s", resp.Status)
+			}
+			for _, h := range d.clients.held() {
+				if (h.Connections == 1) != strings.HasPrefix(h.Client, tc.want) || h.Client == "each" {
+					if h.Connections == 1 {
+						t.Errorf("counted as %q, want %q", h.Client, tc.want)
+					}
+				}
+			}
+		})
+	}
+}
+
+// The bounds of a client are its own: what one is refused for, another is served beside.
+func TestBoundsOfAClient(t *testing.T) {
+	hold := make(chan struct{})
+	w := newWorld(t, 4, endpoint.Options{})
+	for _, e := range w.endpoints {
+		e.Faults(func(r *http.Request) endpoint.Fault {
+			if strings.HasPrefix(r.URL.Path, "/pay") {
+				<-hold
+			}
+			return endpoint.None
+		})
+	}
+	d := start(t, w.config(t, "name = \"desk\"\n[[client]]", "name = \"desk\"\nopen_requests = 2\nconnections = 4\nbytes_held = \"128KiB\"\n[[client]]"))
+	var open []*link
+	for range 2 {
+		k := dial(t, "tcp", d.addrs["desk"])
+		if _, err := io.WriteString(k, request("pay", 5000, strings.Repeat("x", 40<<10))); err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, k)
+	}
+	eventually(t, "two open", func() bool { _, n, _, _ := d.core.Counts(); return n == 2 })
+	third := dial(t, "tcp", d.addrs["desk"])
+	resp, body := third.ask(t, request("look", 900, ""))
+	if resp.StatusCode != 503 || !strings.Contains(body, "too many requests of this client") {
+		t.Errorf("over open_requests: %s %q", resp.Status, body)
+	}
+	fourth := dial(t, "tcp", d.addrs["desk"])
+	resp, body = fourth.ask(t, request("pay", 900, strings.Repeat("x", 60<<10)))
+	if resp.StatusCode != 503 || !strings.Contains(body, "bytes") || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("over bytes_held: %s %q, Retry-After %q", resp.Status, body, resp.Header.Get("Retry-After"))
+	}
+	if resp, _ := dial(t, "unix", d.addrs["local"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Errorf("another client beside it: %s", resp.Status)
+	}
+	close(hold)
+	for _, k := range open {
+		if resp, _ := k.answer(t); resp.StatusCode != 200 {
+			t.Errorf("one that was open: %s", resp.Status)
+		}
+	}
+	eventually(t, "nothing held", func() bool {
+		for _, h := range d.clients.held() {
+			if h.Client == "desk" && (h.Bytes != 0 || h.Open != 0) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A client that asks too often is told so with 429 and when to come back, whatever connections it uses.
+func TestRequestsASecond(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	d := start(t, w.config(t, "per_process = true", "per_process = true\nrequests_per_second = 2\nburst = 3"))
+	codes := map[int]int{}
+	for range 6 {
+		k := dial(t, "unix", d.addrs["local"])
+		resp, _ := k.ask(t, request("look", 900, ""))
+		codes[resp.StatusCode]++
+		if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode == 429 && (err != nil || after <= 0 || after > 1) {
+			t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+		}
+		k.Close()
+	}
+	if codes[200] < 3 || codes[429] < 2 {
+		t.Errorf("six at once of two a second, three at once: %v", codes)
+	}
+}
+
+// SIGTERM finishes what was taken; nobody waits for a client that sends nothing.
+func TestStop(t *testing.T) {
+	hold := make(chan struct{})
+	w := newWorld(t, 1, endpoint.Options{})
+	taken := make(chan struct{}, 1)
+	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	d := start(t, w.config(t))
+	k, silent := dial(t, "tcp", d.addrs["desk"]), dial(t, "tcp", d.addrs["desk"])
+	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
+		t.Fatal(err)
+	}
+	peer.Within(t, taken, "attempt")
+	d.stop()
+	silent.SetReadDeadline(time.Now().Add(peer.Soon))
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a silent connection: %v, want it closed", err)
+	}
+	close(hold)
+	if resp, _ := k.answer(t); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%s, close %v", resp.Status, resp.Close)
+	}
+	if err := peer.Within(t, d.ended, "end"); err != nil {
+		t.Error(err)
+	}
+	for _, path := range []string{"/clients.sock", "/takeover.sock"} {
+		if _, err := os.Lstat(w.dir + path); !os.IsNotExist(err) {
+			t.Errorf("%s was left behind: %v", path, err)
+		}
+	}
+}
+
+// What is still open when its time is over is ended.
+func TestDrainWithin(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	w := newWorld(t, 1, endpoint.Options{})
+	taken := make(chan struct{}, 1)
+	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	d := start(t, w.config(t, `drain_within = "3s"`, `drain_within = "400ms"`, `give_up = "1s"`, `give_up = "20s"`))
+	k := dial(t, "tcp", d.addrs["desk"])
+	if _, err := io.WriteString(k, request("pay", 20000, "")); err != nil {
+		t.Fatal(err)
+	}
+	peer.Within(t, taken, "attempt")
+	d.stop()
+	if err := peer.Within(t, d.ended, "end"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A file that changes while the daemon serves changes clients' bounds and the discovery; one that makes no sense
+// changes nothing.
+func TestReload(t *testing.T) {
+	w := newWorld(t, 2, endpoint.Options{})
+	one, err := roster.Start(w.entry(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer one.Close()
+	d := start(t, w.config(t))
+	k := dial(t, "unix", d.addrs["local"])
+	if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+	d.reload <- syscall.SIGHUP
+	d.next <- nil
+	d.reload <- syscall.SIGHUP
+	d.next <- w.config(t, w.roster.Addr, one.Addr, "per_process = true", "per_process = true\nrequests_per_second = 0.001\nburst = 1")
+	// The connection that was open has the new bounds, and only one endpoint serves.
+	eventually(t, "the new rate", func() bool {
+		resp, _ := k.ask(t, request("look", 900, ""))
+		return resp.StatusCode == 429
+	})
+	eventually(t, "the new discovery", func() bool {
+		_, body := dial(t, "tcp", d.addrs["desk"]).ask(t, request("look", 900, ""))
+		return strings.Contains(body, " s-1 ")
+	})
+	for range 20 {
+		if _, body := dial(t, "tcp", d.addrs["desk"]).ask(t, request("look", 900, "")); !strings.Contains(body, " s-1 ") {
+			t.Fatalf("answered by %q", body)
+		}
+	}
+}
+
+// A socket that a dead process has left is replaced, one that is listened on is not, and neither is a file.
+func TestSocketsLeftBehind(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	path := w.dir + "/clients.sock"
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.SetUnlinkOnClose(false)
+	c := w.config(t, `socket = "`+w.dir+`/takeover.sock"`, `socket = ""`)
+	failing := func(want string) {
+		t.Helper()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // or it would wait for the address
+		d, err := assemble(Options{Config: c, Log: peer.Quiet, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := d.run(ctx); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v, want %q", err, want)
+		}
+	}
+	failing("another process listens there")
+	ln.Close()
+	d := start(t, c)
+	d.stop()
+	if err := peer.Within(t, d.ended, "end"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	failing("is no socket")
+}
--- /dev/null
+++ b/internal/daemon/helper_test.go
@@ -0,0 +1,267 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/standin/roster"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("DUNLINSAILD_TEST_ROLE") != "" {
+		role()
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// world is a roster and endpoints for a daemon under test.
+type world struct {
+	roster    *roster.Server
+	ledger    *endpoint.Ledger
+	endpoints []*endpoint.Server
+	dir       string
+}
+
+// newWorld starts n endpoints of one cell and a roster that lists them as long up.
+func newWorld(t *testing.T, n int, o endpoint.Options) *world {
+	t.Helper()
+	w := &world{ledger: &endpoint.Ledger{}, dir: t.TempDir()}
+	o.Ledger, o.Keyed = w.ledger, 400*time.Millisecond
+	var entries []discovery.Instance
+	for i := range n {
+		o.Name = fmt.Sprint("s-", i)
+		s, err := endpoint.Start(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		w.endpoints = append(w.endpoints, s)
+		entries = append(entries, w.entry(i))
+	}
+	var err error
+	if w.roster, err = roster.Start(entries...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.roster.Close)
+	return w
+}
+
+func (w *world) entry(i int) discovery.Instance {
+	return board.Up(fmt.Sprint("s-", i), w.endpoints[i].Addr)
+}
+
+// file returns a daemon's file: a TCP listener for the client desk, a unix socket where each process is a client,
+// and a site of three classes. Edits are pairs of old and new text.
+func (w *world) file(edits ...string) string {
+	text := `
+name = "under test"
+[process]
+descriptors = 512
+[discovery]
+address = "` + w.roster.Addr + `"
+[takeover]
+socket = "` + w.dir + `/takeover.sock"
+ready_within = "5s"
+drain_within = "3s"
+[connections]
+[requests]
+in_flight = 64
+[[listener]]
+name = "desk"
+address = "127.0.0.1:0"
+client = "desk"
+[[listener]]
+name = "local"
+address = "unix:` + w.dir + `/clients.sock"
+client = "each"
+[[client]]
+name = "desk"
+[[client]]
+name = "each"
+per_process = true
+[fleet]
+zone = "a"
+zones = ["a", "b"]
+machines = ["m1"]
+[[class]]
+name = "look"
+repeat = "safe"
+aim = "500ms"
+give_up = "1s"
+[[class]]
+name = "book"
+repeat = "keyed"
+group = "cell"
+window = "400ms"
+aim = "500ms"
+give_up = "1s"
+worth = 5.0
+[[class]]
+name = "pay"
+repeat = "unsafe"
+aim = "500ms"
+give_up = "1s"
+worth = 5.0
+[[tenant]]
+name = "acme"
+allowance = 10000.0
+share = 1.0
+[attempts]
+dial_timeout = "1s"
+[probes]
+on = true
+report = "probe"
+fields = ["inflight", "queue"]
+`
+	return strings.NewReplacer(edits...).Replace(text)
+}
+
+func (w *world) config(t *testing.T, edits ...string) *config.Config {
+	t.Helper()
+	c, err := config.Parse([]byte(w.file(edits...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// running is a daemon under test, in this process.
+type running struct {
+	*daemon
+	stop   context.CancelFunc
+	ended  chan error
+	addrs  map[string]string
+	reload chan os.Signal
+	next   chan *config.Config // what is read at a reload; nil is an error
+}
+
+// launch starts a daemon; serving waits until it accepts.
+func launch(t *testing.T, c *config.Config, log *slog.Logger) (r *running, serving <-chan map[string]string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	r = &running{stop: stop, ended: make(chan error, 1), reload: make(chan os.Signal, 1), next: make(chan *config.Config, 1)}
+	up := make(chan map[string]string, 1)
+	o := Options{Config: c, Log: log, Reload: r.reload, Seed: 7, Serving: func(a map[string]string) { up <- a },
+		Read: func() (*config.Config, error) {
+			if c := <-r.next; c != nil {
+				return c, nil
+			}
+			return nil, errors.New("no sense")
+		}}
+	d, err := assemble(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.daemon = d
+	go func() {
+		r.ended <- d.run(ctx)
+		close(r.ended)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-r.ended
+	})
+	return r, up
+}
+
+// start starts a daemon and waits until it is ready.
+func start(t *testing.T, c *config.Config) *running {
+	t.Helper()
+	r, serving := launch(t, c, testLog())
+	r.addrs = peer.Within(t, serving, "a daemon that serves")
+	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	defer cancel()
+	if err := r.core.Wait(ctx); err != nil {
+		t.Fatal("not ready: ", err)
+	}
+	return r
+}
+
+func testLog() *slog.Logger {
+	if os.Getenv("DUNLINSAILD_TEST_LOG") != "" {
+		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	return peer.Quiet
+}
+
+var lastID atomic.Uint64
+
+// request returns the text of a request of a class.
+func request(class string, ms int, body string) string {
+	id := fmt.Sprintf("t%08x", lastID.Add(1))
+	if class == "look" {
+		return fmt.Sprintf("GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Customer: acme\r\nX-Expires-In-Ms: %d\r\n\r\n", id, ms)
+	}
+	return fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Customer: acme\r\nX-Expires-In-Ms: %d\r\n"+
+		"Idempotency-Key: k%s\r\nContent-Length: %d\r\n\r\n%s", class, id, ms, id, len(body), body)
+}
+
+// link is a client's connection in this process.
+type link struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, network, addr string) *link {
+	t.Helper()
+	c, err := net.Dial(network, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &link{c, bufio.NewReader(c)}
+}
+
+// ask makes a request and returns the whole answer.
+func (k *link) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	if _, err := io.WriteString(k, text); err != nil {
+		t.Fatal(err)
+	}
+	return k.answer(t)
+}
+
+func (k *link) answer(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	resp, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is not whole: %v", err)
+	}
+	return resp, string(body)
+}
+
+// eventually waits for what becomes true by itself.
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(peer.Soon); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, peer.Soon)
+		}
+	}
+}
+
+func role() {}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,619 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/takeover"
+)
+
+// answerTime bounds the steps of a takeover that take no work.
+const answerTime = 5 * time.Second
+
+// life is the course of a daemon from its start to its end: as taker, if another process serves, and then as giver to
+// the next. Its fields belong to the goroutine in run; others use events.
+type life struct {
+	*daemon
+	stop   context.Context
+	events chan func()
+	over   chan struct{} // closed once no event is taken any more
+
+	taker    decide.Taker
+	from     *takeover.Conn // the giver; nil once there is none
+	offered  offer
+	files    []net.Listener // listening sockets offered, in the offer's order
+	taken    []net.Conn     // connections handed over before we accept
+	started  bool
+	accepted bool
+
+	giver   decide.Giver
+	takeLn  *takeover.Listener
+	takes   sync.WaitGroup // the accept loop of takeLn
+	to      *takeover.Conn // the taker; nil while there is none
+	state   []byte         // to go with Go
+	waiting context.CancelFunc
+
+	wake   *time.Timer
+	result error
+	ended  bool
+}
+
+// offer is what a giver offers with its listening sockets.
+type offer struct {
+	Listeners []string // their addresses as the giver's file has them
+	Takeover  bool     // the last socket is the one for takers
+	State     []byte
+}
+
+// run takes over or starts cold, serves, and ends.
+func (d *daemon) run(stop context.Context) error {
+	t := d.o.Config.Takeover
+	times := decide.Times{Ready: clock.Micros(t.ReadyWithin.Duration), Answer: clock.Micros(answerTime),
+		Drain: clock.Micros(t.DrainWithin.Duration)}
+	l := &life{daemon: d, stop: stop, events: make(chan func()), over: make(chan struct{}),
+		taker: decide.Taker{Times: times}, giver: decide.Giver{Times: times}}
+	l.wake = time.AfterFunc(time.Hour, func() { l.post(l.woken) })
+	defer l.finish()
+	if err := l.begin(); err != nil {
+		return err
+	}
+	stopped := stop.Done()
+	for !l.ended {
+		l.arm()
+		select {
+		case event := <-l.events:
+			event()
+		case <-d.o.Reload:
+			d.reload()
+		case <-stopped:
+			stopped = nil
+			l.stopped()
+		}
+	}
+	return l.result
+}
+
+// finish gives everything back, whatever came before.
+func (l *life) finish() {
+	close(l.over)
+	l.wake.Stop()
+	if l.waiting != nil {
+		l.waiting()
+	}
+	if l.takeLn != nil {
+		l.takeLn.Close()
+		l.takes.Wait()
+	}
+	for _, c := range []*takeover.Conn{l.from, l.to} {
+		if c != nil {
+			c.Close()
+		}
+	}
+	for _, ln := range l.files {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+	for _, nc := range l.taken {
+		nc.Close()
+	}
+	l.daemon.end()
+}
+
+// post hands an event to run. After its end there is nobody to tell.
+func (l *life) post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.over:
+	}
+}
+
+func now() decide.Micros { return takeover.Monotonic() }
+
+// arm sets the timer to the next deadline of either side.
+func (l *life) arm() {
+	next := l.taker.Deadline()
+	if d := l.giver.Deadline(); d != 0 && (next == 0 || d < next) {
+		next = d
+	}
+	if next != 0 {
+		l.wake.Reset(max(0, clock.Duration(next-now())))
+	}
+}
+
+func (l *life) woken() {
+	l.takerStep(decide.Wake, "")
+	l.giverStep(decide.Wake)
+}
+
+func (l *life) stopped() {
+	if !l.accepted {
+		l.takerStep(decide.Stop, "")
+		if !l.ended {
+			l.end(nil) // there was nothing yet
+		}
+		return
+	}
+	l.takerStep(decide.Stop, "")
+	l.giverStep(decide.Stop)
+}
+
+func (l *life) end(err error) {
+	if !l.ended {
+		l.ended, l.result = true, err
+	}
+}
+
+// begin asks whoever serves to hand over, or starts alone.
+func (l *life) begin() error {
+	path := l.o.Config.Takeover.Socket
+	if path == "" {
+		return l.cold()
+	}
+	c, err := takeover.Dial(path)
+	switch {
+	case err == nil:
+	case errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNREFUSED):
+		return l.cold()
+	default:
+		return errf("takeover: %s: %w", path, err)
+	}
+	l.from = c
+	l.log.Info("taking over", "socket", path)
+	l.read(c, l.fromGiver)
+	l.takerSteps(l.taker.Begin(now()))
+	return nil
+}
+
+// read passes a connection's messages on as events, and its end.
+func (l *life) read(c *takeover.Conn, got func(c *takeover.Conn, m takeover.Message)) {
+	l.beside.Go(func() {
+		for {
+			m, err := c.Read()
+			if err != nil {
+				m = takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}
+			}
+			l.post(func() { got(c, m) })
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// ---- Taking over -----------------------------------------------------------
+
+func (l *life) fromGiver(c *takeover.Conn, m takeover.Message) {
+	if c != l.from {
+		m.CloseFiles()
+		return
+	}
+	switch m.Kind {
+	case decide.Offer:
+		l.inherit(m)
+	case takeover.Handed:
+		l.adopt(m)
+		return
+	case decide.Go:
+		l.state = m.Text
+	}
+	m.CloseFiles()
+	l.takerStep(m.Kind, string(m.Text))
+}
+
+func (l *life) takerStep(e decide.Event, reason string) {
+	l.takerSteps(l.taker.Step(now(), e, reason))
+}
+
+func (l *life) takerSteps(steps []decide.Step) {
+	for _, s := range steps {
+		if l.ended {
+			return
+		}
+		switch s.Action {
+		case decide.Send:
+			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+			if s.Message == decide.Hello {
+				m.Text = fmt.Appendf(nil, "%d", decide.Version)
+			}
+			l.from.Write(m) // a failure shows as the connection's end
+		case decide.Hang:
+			l.from.Close()
+			l.from = nil
+		case decide.Start:
+			if err := l.startWith(); err != nil {
+				l.from.Write(takeover.Message{Kind: decide.Refused, Text: []byte(err.Error())})
+				l.end(err)
+			}
+		case decide.Take:
+			l.restore(l.decode(l.state, "at the handover"), "at the handover")
+			l.state = nil
+		case decide.Accept:
+			l.serve()
+		case decide.Cold:
+			if err := l.cold(); err != nil {
+				l.end(err)
+			}
+		case decide.Fail:
+			if l.stop.Err() != nil {
+				l.end(nil) // we were told to stop before we began
+				return
+			}
+			l.end(errf("takeover: %s", s.Reason))
+		}
+	}
+}
+
+// inherit takes the listening sockets that are offered.
+func (l *life) inherit(m takeover.Message) {
+	if err := json.Unmarshal(m.Text, &l.offered); err != nil {
+		l.log.Warn("what is offered makes no sense", "error", err)
+		l.offered = offer{}
+	}
+	for i, f := range m.Files {
+		if l.offered.Takeover && i == len(m.Files)-1 {
+			ln, err := takeover.FromFile(f)
+			if err != nil {
+				l.log.Warn("socket for takers not taken over", "error", err)
+				continue
+			}
+			l.takeLn = ln
+			continue
+		}
+		ln, err := net.FileListener(f)
+		if err != nil {
+			l.log.Warn("listening socket not taken over", "error", err)
+		}
+		l.files = append(l.files, ln) // nil in its place
+	}
+	l.offered.Listeners = l.offered.Listeners[:min(len(l.offered.Listeners), len(l.files))]
+}
+
+// startWith starts with what was offered, and tells once requests could be served.
+func (l *life) startWith() error {
+	var names []string
+	for i, name := range l.offered.Listeners {
+		if l.files[i] == nil {
+			name = "" // not to be had
+		}
+		names = append(names, name)
+	}
+	if err := l.listen(l.stop, l.files, names, 0); err != nil {
+		return err
+	}
+	s := l.decode(l.offered.State, "at the start")
+	if s != nil {
+		// The watch goes on where the giver's stands: a whole list might be older than what it has told.
+		l.watch.StartAfter(s.Core.Generation)
+	}
+	l.daemon.start()
+	l.restore(s, "at the start")
+	l.ready()
+	return nil
+}
+
+// ready tells once the core could serve.
+func (l *life) ready() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.waiting = cancel
+	l.beside.Go(func() {
+		if l.core.Wait(ctx) == nil {
+			l.post(func() {
+				l.started = true
+				l.takerStep(decide.Started, "")
+			})
+		}
+	})
+}
+
+// decode reads what the giver learned. What cannot be taken is told and left: then we begin with less.
+func (l *life) decode(text []byte, when string) *takeover.State {
+	s, err := takeover.DecodeState(text)
+	if here := l.o.Config.Discovery.Address; err == nil && s.Discovery != here {
+		err = errf("%w: its list is that of another discovery, %s, not %s", takeover.ErrState, s.Discovery, here)
+	}
+	if err != nil {
+		l.log.Warn("beginning with less", "when", when, "error", err)
+		return nil
+	}
+	return s
+}
+
+func (l *life) restore(s *takeover.State, when string) {
+	if s == nil {
+		return
+	}
+	passed := l.core.Restore(s.Core, max(0, takeover.Monotonic()-s.Taken))
+	l.log.Info("what the other process learned is taken over", "when", when, "endpoints", len(s.Core.Members),
+		"generation", s.Core.Generation, "passed over", passed)
+}
+
+// adopt takes a connection over. It comes from a listener that we have, or it is closed.
+func (l *life) adopt(m takeover.Message) {
+	for _, f := range m.Files {
+		nc, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			l.log.Warn("connection not taken over", "error", err)
+			continue
+		}
+		if !l.accepted {
+			l.taken = append(l.taken, nc)
+			continue
+		}
+		l.serveConn(nc)
+	}
+}
+
+func (l *life) serveConn(nc net.Conn) {
+	for _, ln := range l.listeners {
+		if a, b := ln.ln.Addr(), nc.LocalAddr(); a.Network() == b.Network() && a.String() == b.String() {
+			l.front.Adopt(nc, ln.identify)
+			return
+		}
+	}
+	l.log.Warn("a connection of a listener that is not ours any more is closed", "listener", nc.LocalAddr().String())
+	nc.Close()
+}
+
+// cold starts with nothing: it listens, and serves once discovery has told of an endpoint.
+func (l *life) cold() error {
+	l.taker.Alone()
+	if err := l.listen(l.stop, nil, nil, bindFor); err != nil {
+		return err
+	}
+	l.daemon.start()
+	l.serve()
+	return nil
+}
+
+// serve accepts clients, and takers where that is wanted.
+func (l *life) serve() {
+	l.accepted = true
+	for _, ln := range l.listeners {
+		ln.keep(false)
+		ln.accept(l.front)
+	}
+	for i, ln := range l.files { // offered, and not in our file
+		if ln != nil {
+			if u, ok := ln.(*net.UnixListener); ok {
+				u.SetUnlinkOnClose(true)
+			}
+			ln.Close()
+			l.files[i] = nil
+		}
+	}
+	for _, nc := range l.taken {
+		l.serveConn(nc)
+	}
+	l.taken = nil
+	if path := l.o.Config.Takeover.Socket; path != "" && l.takeLn == nil {
+		ln, err := takeover.Listen(path)
+		if err != nil {
+			l.log.Error("no process will be able to take over from this one", "socket", path, "error", err)
+		} else {
+			l.takeLn = ln
+		}
+	}
+	if l.takeLn != nil {
+		l.takeLn.Keep(false)
+		l.acceptTakers()
+	}
+	l.log.Info("serving", "name", l.o.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
+	if l.o.Serving != nil {
+		l.o.Serving(l.addresses())
+	}
+}
+
+// ---- Handing over ----------------------------------------------------------
+
+func (l *life) acceptTakers() {
+	l.takeLn.Pause(false)
+	ln := l.takeLn
+	l.takes.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			l.post(func() { l.taker1(c) })
+		}
+	})
+}
+
+// taker1 begins with a taker, if there is none yet.
+func (l *life) taker1(c *takeover.Conn) {
+	if l.to != nil || l.giver.Busy() {
+		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte("another takeover is under way")})
+		c.Close()
+		return
+	}
+	l.to = c
+	l.read(c, l.fromTaker)
+}
+
+func (l *life) fromTaker(c *takeover.Conn, m takeover.Message) {
+	m.CloseFiles()
+	if c != l.to {
+		return
+	}
+	if m.Kind == decide.Hello && string(m.Text) != fmt.Sprint(decide.Version) {
+		l.log.Warn("a process of another version wants to take over", "its", string(m.Text), "ours", decide.Version)
+		c.Write(takeover.Message{Kind: decide.Refused, Text: fmt.Appendf(nil, "it speaks version %d", decide.Version)})
+		l.hangUp()
+		return
+	}
+	if m.Kind == decide.Refused || m.Kind == decide.Broken && l.giver.Busy() {
+		l.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Text))
+	}
+	if m.Kind == decide.Broken && !l.giver.Busy() {
+		l.hangUp()
+		return
+	}
+	l.giverStep(m.Kind)
+}
+
+func (l *life) hangUp() {
+	if l.to != nil {
+		l.to.Close()
+		l.to = nil
+	}
+}
+
+func (l *life) giverStep(e decide.Event) {
+	for _, s := range l.giver.Step(now(), e) {
+		l.log.Debug("takeover", "event", e.String(), "action", s.Action.String(), "message", s.Message.String())
+		switch s.Action {
+		case decide.Send:
+			l.tell(s)
+		case decide.Hang:
+			l.hangUp()
+		case decide.Close:
+			l.closeFront()
+		case decide.Reopen:
+			l.reopen()
+		case decide.Release:
+			l.release()
+		case decide.Drain:
+			l.drain()
+		case decide.Cut:
+			l.log.Warn("what is still open is ended: takeover.drain_within is over")
+			l.front.Cut()
+		case decide.End:
+			l.end(nil)
+		}
+	}
+}
+
+func (l *life) tell(s decide.Step) {
+	if l.to == nil {
+		return
+	}
+	m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+	switch s.Message {
+	case decide.Offer:
+		m = l.offer()
+	case decide.Go:
+		m.Text, l.state = l.state, nil
+	case decide.Yours:
+		// From here on the paths of unix sockets are the taker's.
+		for _, ln := range l.listeners {
+			ln.keep(true)
+		}
+		l.takeLn.Keep(true)
+		l.log.Info("handed over", "waiting for", "open requests and connections")
+	}
+	if err := l.to.Write(m); err != nil {
+		l.log.Warn("takeover", "error", err)
+		c := l.to
+		go l.post(func() { l.fromTaker(c, takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}) })
+	}
+}
+
+// offer is what a taker is offered: the sockets, and what we know so far.
+func (l *life) offer() takeover.Message {
+	l.log.Info("another process wants to take over")
+	o := offer{Takeover: true, State: l.encode(l.core.Snapshot())}
+	var socks []syscall.Conn
+	for _, ln := range l.listeners {
+		o.Listeners = append(o.Listeners, ln.conf.Address)
+		socks = append(socks, ln.ln.(syscall.Conn))
+	}
+	text, err := json.Marshal(o)
+	if err != nil {
+		l.log.Error("offer", "error", err)
+	}
+	return takeover.Message{Kind: decide.Offer, Text: text, Socks: append(socks, l.takeLn.Sock())}
+}
+
+// closeFront accepts nothing more and leaves to the taker what it will need.
+func (l *life) closeFront() {
+	for _, ln := range l.listeners {
+		ln.pause()
+	}
+	l.takeLn.Pause(true)
+	l.takes.Wait()
+	l.state = l.encode(l.core.HandOver())
+}
+
+func (l *life) reopen() {
+	l.log.Info("serving on, as before")
+	l.front.Release(nil)
+	l.core.TakeBack()
+	if l.waiting != nil {
+		l.waiting()
+	}
+	for _, ln := range l.listeners {
+		ln.keep(false)
+		ln.accept(l.front)
+	}
+	l.takeLn.Keep(false)
+	l.acceptTakers()
+}
+
+// release hands connections over as they come to rest, and tells once there are none left.
+func (l *life) release() {
+	to := l.to
+	l.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
+	l.drained()
+}
+
+// drain ends what is open in order: whoever still connects is served for a moment, each answer closes its
+// connection, and cold endpoints get nothing more.
+func (l *life) drain() {
+	l.log.Info("stopping")
+	l.front.Release(nil)
+	l.front.Quiesce()
+	l.core.HandOver()
+	if l.takeLn != nil {
+		l.takeLn.Close()
+	}
+	for _, ln := range l.listeners {
+		ln.accept(l.front) // it may have been paused for a taker that is gone; more than once is once
+	}
+	l.beside.Go(func() {
+		select {
+		case <-time.After(acceptFor):
+		case <-l.over:
+		}
+		l.post(func() {
+			for _, ln := range l.listeners {
+				ln.close()
+			}
+			l.front.Quiesce()
+			l.drained()
+		})
+	})
+}
+
+// drained tells once no connection is served any more.
+func (l *life) drained() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.waiting = cancel
+	l.beside.Go(func() {
+		if l.front.Wait(ctx) == nil {
+			l.post(func() { l.giverStep(decide.Drained) })
+		}
+	})
+}
+
+// encode returns the form of what we know, nothing where it has none: the taker then begins with less.
+func (l *life) encode(s *core.Snapshot) []byte {
+	state := takeover.State{Taken: takeover.Monotonic(), Discovery: l.config.Discovery.Address, Core: s}
+	text, err := state.Encode()
+	if err != nil {
+		l.log.Error("what was learned cannot be handed over", "error", err)
+		return nil
+	}
+	return text
+}
--- a/internal/decide/conns/conns.go
+++ b/internal/decide/conns/conns.go
@@ -75,6 +75,7 @@
 	owners []*Owner[T] // those with connections at rest
 	busy   int
 	rest   int
+	all    map[*Conn[T]]struct{}
 }
 
 // New returns an empty table, or the error of limits that make no sense.
@@ -82,7 +83,7 @@
 	if err := l.Validate(); err != nil {
 		return nil, fmt.Errorf("conns: %w", err)
 	}
-	return &Table[T]{limits: l}, nil
+	return &Table[T]{limits: l, all: map[*Conn[T]]struct{}{}}, nil
 }
 
 // Owner returns a new owner of at most so many connections, and of so many bytes held; 0 bytes is no bound. Where
@@ -119,6 +120,7 @@
 		t.Close(closed)
 	}
 	c = &Conn[T]{Value: value, owner: o}
+	t.all[c] = struct{}{}
 	t.lay(now, c)
 	return c, closed
 }
@@ -173,6 +175,7 @@
 		return
 	}
 	c.gone = true
+	delete(t.all, c)
 	t.release(c)
 	if c.place != nil {
 		t.lift(c)
@@ -182,6 +185,13 @@
 	}
 }
 
+// Each calls f for each connection, in no order.
+func (t *Table[T]) Each(f func(*Conn[T])) {
+	for c := range t.all {
+		f(c)
+	}
+}
+
 // Resting calls f for each connection without an open request, the longest at rest of each owner first.
 func (t *Table[T]) Resting(f func(*Conn[T])) {
 	for _, o := range slices.Clone(t.owners) {
--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -242,7 +242,8 @@
 
 var takerStates = [...]string{"asking", "starting", "waiting", "prepared", "accepting", "alone", "failed"}
 
-// Taker is the process that is to serve. The zero value with Times set has not begun: call Begin.
+// Taker is the process that is to serve. The zero value with Times set has not begun: call Begin, or Alone where
+// nobody serves.
 type Taker struct {
 	Times Times
 
@@ -260,6 +261,9 @@
 	return []Step{send(Hello)}
 }
 
+// Alone says that there is nobody to take over from.
+func (t *Taker) Alone() { t.to(alone, 0) }
+
 // Deadline returns the instant at which Wake is due, 0 for none.
 func (t *Taker) Deadline() Micros { return t.deadline }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -103,6 +103,9 @@
 		}}}
 }
 
+// StartAfter has the watch begin after a generation that is known otherwise. It must come before the first watch.
+func (w *Watcher) StartAfter(generation int64) { w.after = generation }
+
 // keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
 // generation on, later each time and never in step with other sidecars.
 func (w *Watcher) keep(ctx context.Context) {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -59,10 +60,11 @@
 	table   *conns.Table[*conn]
 	idle    *time.Timer // looks for what has rested too long
 	closing bool
-	talks   sync.WaitGroup
+	talks   int             // connections that are being served
+	empty   []chan struct{} // to be closed once there are none
 
-	detach   func(net.Conn, *Client) bool // takes connections at rest over; nil while none are handed over
-	releases int                          // how often that has begun
+	detach   func(net.Conn) bool // takes connections at rest over; nil while none are handed over
+	releases int                 // how often that has begun
 }
 
 func newConnections(l conns.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
@@ -133,14 +135,39 @@
 	}
 	c.place = place
 	k.expireLocked()
-	k.talks.Go(func() {
+	k.talks++
+	go func() {
 		k.talk(c)
-		k.mu.Lock()
-		k.closeLocked(c.place)
-		k.mu.Unlock()
 		c.releaseReader()
 		gone()
-	})
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.closeLocked(c.place)
+		if k.talks--; k.talks == 0 {
+			for _, ch := range k.empty {
+				close(ch)
+			}
+			k.empty = nil
+		}
+	}()
+}
+
+// wait waits until no connection is served, or ctx ends.
+func (k *connections) wait(ctx context.Context) error {
+	k.mu.Lock()
+	ch := make(chan struct{})
+	if k.talks == 0 {
+		close(ch)
+	} else {
+		k.empty = append(k.empty, ch)
+	}
+	k.mu.Unlock()
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (k *connections) closeLocked(place *conns.Conn[*conn]) {
@@ -195,6 +222,14 @@
 	return !k.closing
 }
 
+// cut closes all connections, those with open requests too.
+func (k *connections) cut() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closing = true
+	k.table.Each(func(c *conns.Conn[*conn]) { c.Value.Close() })
+}
+
 // hush closes the connections without an open request; those with one close once they have their answers.
 func (k *connections) hush() {
 	k.mu.Lock()
@@ -212,7 +247,7 @@
 
 // release hands connections over as soon as they rest, from now on: to is called for each, and says whether it
 // has been taken; our own end of it is closed then. What is not taken goes on here. nil ends that.
-func (k *connections) release(to func(net.Conn, *Client) bool) {
+func (k *connections) release(to func(net.Conn) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.detach = to
@@ -236,7 +271,7 @@
 	}
 	for {
 		if to := k.parking(c, until); to != nil {
-			if to(c.Conn, c.client) {
+			if to(c.Conn) {
 				return false
 			}
 			continue
@@ -253,7 +288,7 @@
 }
 
 // parking notes that a connection waits, or returns what it is to be handed to first.
-func (k *connections) parking(c *conn, until time.Time) (to func(net.Conn, *Client) bool) {
+func (k *connections) parking(c *conn, until time.Time) (to func(net.Conn) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.detach != nil && c.offered != k.releases {
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -126,7 +126,7 @@
 // Release hands connections over as soon as they rest, from now on: to is called for each, from many goroutines,
 // and says whether it has been taken; our own end of it is closed then. What is not taken goes on here. nil ends
 // that.
-func (f *Front) Release(to func(net.Conn, *Client) bool) { f.conns.release(to) }
+func (f *Front) Release(to func(net.Conn) bool) { f.conns.release(to) }
 
 // Quiesce has each answer from now on close its connection, and closes the connections without an open request.
 // It may be called again, for those that have come meanwhile.
@@ -135,8 +135,14 @@
 	f.conns.hush()
 }
 
-// Wait waits until all connections have ended.
-func (f *Front) Wait() { f.conns.talks.Wait() }
+// Wait waits until no connection is served, or ctx ends.
+func (f *Front) Wait(ctx context.Context) error { return f.conns.wait(ctx) }
+
+// Cut closes all connections, those with open requests too.
+func (f *Front) Cut() {
+	f.closing.Store(true)
+	f.conns.cut()
+}
 
 // talk serves a connection, one request at a time.
 func (f *Front) talk(c *conn) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -153,5 +153,5 @@
 	<-accepted
 	// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
 	s.front.Quiesce()
-	s.front.Wait()
+	s.front.Wait(context.Background())
 }
