--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	b64 "encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -196,6 +197,14 @@
 	return r
 }
 
+// options are what successive processes are started with.
+type options struct{ config *config.Config }
+
+// freeAddr returns an address on which nothing listens: the second process must name the same as the first.
+func freeAddr(t *testing.T) string { return peer.Nowhere(t) }
+
+func base64(b []byte) string { return b64.StdEncoding.EncodeToString(b) }
+
 func testLog() *slog.Logger {
 	if os.Getenv("DUNLINSAILD_TEST_LOG") != "" {
 		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -110,11 +110,13 @@
 	l.daemon.end()
 }
 
-// post hands an event to run. After its end there is nobody to tell.
-func (l *life) post(event func()) {
+// post hands an event to run, and says whether it has been taken: after its end there is nobody to tell.
+func (l *life) post(event func()) bool {
 	select {
 	case l.events <- event:
+		return true
 	case <-l.over:
+		return false
 	}
 }
 
@@ -426,20 +428,43 @@
 			if err != nil {
 				return
 			}
-			l.post(func() { l.taker1(c) })
+			// Whoever connects and says nothing keeps nobody from taking over.
+			l.beside.Go(func() {
+				end := context.AfterFunc(l.ctx, func() { c.Close() })
+				m, err := c.ReadWithin(answerTime)
+				end()
+				m.CloseFiles()
+				if err != nil {
+					c.Close()
+					return
+				}
+				if !l.post(func() { l.begins(c, m) }) {
+					c.Close()
+				}
+			})
 		}
 	})
 }
 
-// taker1 begins with a taker, if there is none yet.
-func (l *life) taker1(c *takeover.Conn) {
-	if l.to != nil || l.giver.Busy() {
-		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte("another takeover is under way")})
+// begins begins with a taker, if there is none yet.
+func (l *life) begins(c *takeover.Conn, m takeover.Message) {
+	refuse := func(why string) {
+		l.log.Warn("a process that wants to take over is turned away", "reason", why)
+		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte(why)})
 		c.Close()
-		return
 	}
-	l.to = c
-	l.read(c, l.fromTaker)
+	switch {
+	case m.Kind != decide.Hello:
+		refuse("that is no takeover")
+	case string(m.Text) != fmt.Sprint(decide.Version):
+		refuse(fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text))
+	case l.to != nil:
+		refuse("another takeover is under way")
+	default:
+		l.to = c
+		l.read(c, l.fromTaker)
+		l.giverStep(decide.Hello)
+	}
 }
 
 func (l *life) fromTaker(c *takeover.Conn, m takeover.Message) {
@@ -447,19 +472,9 @@
 	if c != l.to {
 		return
 	}
-	if m.Kind == decide.Hello && string(m.Text) != fmt.Sprint(decide.Version) {
-		l.log.Warn("a process of another version wants to take over", "its", string(m.Text), "ours", decide.Version)
-		c.Write(takeover.Message{Kind: decide.Refused, Text: fmt.Appendf(nil, "it speaks version %d", decide.Version)})
-		l.hangUp()
-		return
-	}
-	if m.Kind == decide.Refused || m.Kind == decide.Broken && l.giver.Busy() {
+	if m.Kind == decide.Refused || m.Kind == decide.Broken {
 		l.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Text))
 	}
-	if m.Kind == decide.Broken && !l.giver.Busy() {
-		l.hangUp()
-		return
-	}
 	l.giverStep(m.Kind)
 }
 
--- /dev/null
+++ b/internal/daemon/takeover_test.go
@@ -0,0 +1,625 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/client"
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/takeover"
+)
+
+// succeed starts another daemon that takes over, and waits until it accepts and the old one has ended.
+func succeed(t *testing.T, old *running, c *options) *running {
+	t.Helper()
+	next := start(t, c.config)
+	if err := peer.Within(t, old.ended, "end of the old one"); err != nil {
+		t.Errorf("the old one ended with %v", err)
+	}
+	return next
+}
+
+// desk is a client that asks steadily and must lose nothing.
+func desk(addr string, rate float64, length time.Duration, done func(client.Result)) *client.Client {
+	return client.New(client.Options{Name: "desk", Network: "tcp", Addr: addr, Tenant: "acme", Rate: rate, For: length, Seed: 3,
+		OnDone: done, Classes: []client.Class{
+			{Name: "look", Share: 0.7, Method: "GET", Wait: time.Second},
+			{Name: "book", Share: 0.2, Method: "POST", Keyed: true, Body: 300, Wait: time.Second},
+			{Name: "pay", Share: 0.1, Method: "POST", Body: 300, Wait: time.Second}}})
+}
+
+// Two handovers in a row under load: no connection is refused or reset, connections at rest and in use go on, each
+// request has its one answer, and what was learned is there.
+func TestTakeover(t *testing.T) {
+	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
+	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
+	d := start(t, c.config)
+	addr := d.addrs["desk"]
+	atRest, unix := dial(t, "tcp", addr), dial(t, "unix", d.addrs["local"])
+	inUse := dial(t, "tcp", addr)
+	hold := make(chan struct{})
+	var held atomic.Int32
+	for _, e := range w.endpoints {
+		e.Faults(func(r *http.Request) endpoint.Fault {
+			if r.URL.Path == "/pay/1" {
+				held.Add(1)
+				<-hold
+			}
+			return endpoint.None
+		})
+	}
+	for _, k := range []*link{atRest, unix} {
+		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			t.Fatal(resp.Status)
+		}
+	}
+	var lost atomic.Int32
+	load := desk(addr, 400, 2*time.Second, func(r client.Result) {
+		if r.Verdict != client.Served {
+			lost.Add(1)
+			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
+		}
+	})
+	report := make(chan client.Report, 1)
+	go func() { report <- load.Run(context.Background()) }()
+	eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
+	if _, err := io.WriteString(inUse, request("pay", 900, "x")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "an open request", func() bool { return held.Load() == 1 })
+	// The first handover ends once the open request has its answer, from the old process.
+	second, serving := launch(t, c.config, testLog())
+	second.addrs = peer.Within(t, serving, "second")
+	if n, _ := d.front.Conns(); n == 0 {
+		t.Error("the first has ended with a request open")
+	}
+	close(hold)
+	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("the request open at the handover: %s, close %v", resp.Status, resp.Close)
+	}
+	if err := peer.Within(t, d.ended, "end of the first"); err != nil {
+		t.Error(err)
+	}
+	third := succeed(t, second, c)
+	for name, k := range map[string]*link{"at rest": atRest, "unix": unix, "in use": inUse} {
+		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			t.Errorf("the connection %s, two processes later: %s", name, resp.Status)
+		}
+	}
+	r := peer.Within(t, report, "report")
+	if r.By[client.Served] != r.Asked || r.Asked < 500 {
+		t.Errorf("%d asked, %v", r.Asked, r.By)
+	}
+	t.Logf("longest gap between answers %v, p99 %v", r.LongestGap, r.Quantile(0.99))
+	checkRuns(t, w.ledger.Runs())
+	if s := third.core.Snapshot(); len(s.Learned.Endpoints) != 3 || s.Learned.Endpoints[0].RTT.N < 2 {
+		t.Errorf("what the third knows: %+v", s.Learned)
+	}
+	if all, _ := third.front.Conns(); all < 3 {
+		t.Errorf("%d connections went on", all)
+	}
+}
+
+// checkRuns checks that nothing ran more often than its class allows.
+func checkRuns(t *testing.T, runs []endpoint.Run) {
+	t.Helper()
+	effects := map[string]int{}
+	for _, r := range runs {
+		if r.Effect && r.Class != "look" {
+			effects[r.Class+r.ID+r.Key]++
+		}
+	}
+	for what, n := range effects {
+		if n > 1 {
+			t.Errorf("%s took effect %d times", what, n)
+		}
+	}
+}
+
+// A new process that fails its start is told so, and the old one goes on as if nothing had been.
+func TestTakerThatFails(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	c := w.config(t, "127.0.0.1:0", freeAddr(t))
+	d := start(t, c)
+	k := dial(t, "tcp", d.addrs["desk"])
+	// One more listener, at an address that another process holds.
+	bad := w.config(t, "127.0.0.1:0", c.Listeners[0].Address, "[[client]]\nname = \"desk\"",
+		"[[listener]]\nname = \"more\"\naddress = \""+w.roster.Addr+"\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"")
+	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	defer cancel()
+	if err := Run(ctx, Options{Config: bad, Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), `listener "more"`) {
+		t.Errorf("the new one: %v", err)
+	}
+	d.stillServes(t, k)
+	succeed(t, d, &options{c})
+}
+
+// stillServes checks that a daemon serves on its old connections and on new ones, on all its listeners.
+func (r *running) stillServes(t *testing.T, old ...*link) {
+	t.Helper()
+	eventually(t, "no takeover", func() bool {
+		c, err := takeover.Dial(r.o.Config.Takeover.Socket)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		c.Write(takeover.Message{Kind: decide.Hello, Text: []byte("1")})
+		m, err := c.Read()
+		m.CloseFiles()
+		return err == nil && m.Kind == decide.Offer
+	})
+	for _, k := range append(old, dial(t, "tcp", r.addrs["desk"]), dial(t, "unix", r.addrs["local"])) {
+		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("%s, close %v", resp.Status, resp.Close)
+		}
+	}
+	select {
+	case err := <-r.ended:
+		t.Errorf("it has ended: %v", err)
+	default:
+	}
+}
+
+// taking is a taker written by hand.
+type taking struct {
+	*testing.T
+	*takeover.Conn
+}
+
+func take(t *testing.T, path string) *taking {
+	t.Helper()
+	c, err := takeover.Dial(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	k := &taking{t, c}
+	k.say(decide.Hello, fmt.Sprint(decide.Version))
+	return k
+}
+
+func (k *taking) say(kind decide.Event, text string) {
+	k.Helper()
+	if err := k.Write(takeover.Message{Kind: kind, Text: []byte(text)}); err != nil {
+		k.Fatal(err)
+	}
+}
+
+// hear waits for a message of a kind, passing connections over.
+func (k *taking) hear(kind decide.Event) takeover.Message {
+	k.Helper()
+	for {
+		m, err := k.Read()
+		if err != nil {
+			k.Fatalf("waiting for %v: %v", kind, err)
+		}
+		m.CloseFiles()
+		if m.Kind == kind {
+			return m
+		}
+		if m.Kind != takeover.Handed {
+			k.Fatalf("%v %q, want %v", m.Kind, m.Text, kind)
+		}
+	}
+}
+
+// A new process that hangs before it is ready, is killed at any moment, or speaks another version, leaves the old
+// one as it was.
+func TestTakerThatIsLost(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(k *taking)
+	}{
+		{"killed at once", func(k *taking) { k.Close() }},
+		{"killed before it is ready", func(k *taking) { k.hear(decide.Offer); k.Close() }},
+		{"hangs before it is ready", func(k *taking) {
+			k.hear(decide.Offer)
+			if m := k.hear(decide.Refused); !strings.Contains(string(m.Text), "not ready in time") {
+				k.Errorf("told %q", m.Text)
+			}
+		}},
+		{"killed once ready", func(k *taking) { k.hear(decide.Offer); k.say(decide.Ready, ""); k.Close() }},
+		{"killed while nobody accepts", func(k *taking) {
+			k.hear(decide.Offer)
+			k.say(decide.Ready, "")
+			k.hear(decide.Go)
+			k.Close()
+		}},
+		{"killed as all is its own", func(k *taking) {
+			k.hear(decide.Offer)
+			k.say(decide.Ready, "")
+			k.hear(decide.Go)
+			k.say(decide.Prepared, "")
+			k.hear(decide.Yours)
+			k.Close()
+		}},
+		{"says no", func(k *taking) { k.hear(decide.Offer); k.say(decide.Refused, "no room"); k.Close() }},
+		{"talks out of turn", func(k *taking) {
+			k.hear(decide.Offer)
+			for _, e := range []decide.Event{decide.Prepared, decide.Yours, decide.Stopping, 77, decide.Hello} {
+				k.say(e, "nonsense")
+			}
+			k.Close()
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, endpoint.Options{})
+			c := w.config(t, "127.0.0.1:0", freeAddr(t), `ready_within = "5s"`, `ready_within = "300ms"`)
+			d := start(t, c)
+			busy := dial(t, "tcp", d.addrs["desk"])
+			if resp, _ := busy.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+				t.Fatal(resp.Status)
+			}
+			held, hold := make(chan struct{}, 1), make(chan struct{})
+			w.endpoints[0].Faults(func(r *http.Request) endpoint.Fault {
+				if r.URL.Path == "/pay/1" {
+					held <- struct{}{}
+					<-hold
+				}
+				return endpoint.None
+			})
+			if _, err := io.WriteString(busy, request("pay", 900, "x")); err != nil {
+				t.Fatal(err)
+			}
+			peer.Within(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
+			tc.do(take(t, c.Takeover.Socket))
+			close(hold)
+			if resp, _ := busy.answer(t); resp.StatusCode != 200 {
+				t.Errorf("the request that was open: %s", resp.Status)
+			}
+			d.stillServes(t, busy)
+			succeed(t, d, &options{w.config(t, "127.0.0.1:0", c.Listeners[0].Address)})
+		})
+	}
+	t.Run("says nothing", func(t *testing.T) {
+		w := newWorld(t, 1, endpoint.Options{})
+		c := w.config(t, "127.0.0.1:0", freeAddr(t))
+		d := start(t, c)
+		for range 3 {
+			defer must(takeover.Dial(c.Takeover.Socket)).Close()
+		}
+		succeed(t, d, &options{c})
+	})
+	t.Run("another version", func(t *testing.T) {
+		w := newWorld(t, 1, endpoint.Options{})
+		d := start(t, w.config(t))
+		k := take(t, d.o.Config.Takeover.Socket)
+		k.hear(decide.Offer)
+		other := &taking{t, must(takeover.Dial(d.o.Config.Takeover.Socket))}
+		defer other.Close()
+		other.say(decide.Hello, fmt.Sprint(decide.Version))
+		if m := other.hear(decide.Refused); !strings.Contains(string(m.Text), "under way") {
+			t.Errorf("a second taker was told %q", m.Text)
+		}
+		k.Close()
+		var m takeover.Message
+		eventually(t, "an answer to the version", func() bool {
+			c := must(takeover.Dial(d.o.Config.Takeover.Socket))
+			defer c.Close()
+			c.Write(takeover.Message{Kind: decide.Hello, Text: []byte("999")})
+			var err error
+			m, err = c.Read()
+			return err == nil && strings.Contains(string(m.Text), "version 1")
+		})
+		if m.Kind != decide.Refused {
+			t.Errorf("%v %q", m.Kind, m.Text)
+		}
+		d.stillServes(t)
+	})
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// giving is a giver written by hand: it listens for takers and for clients.
+type giving struct {
+	*taking
+	ln *takeover.Listener
+}
+
+// give listens as a giver would and waits for a taker.
+func give(t *testing.T, path string, took func()) *giving {
+	t.Helper()
+	ln, err := takeover.Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	got := make(chan *takeover.Conn, 1)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			got <- c
+		}
+	}()
+	took()
+	c := peer.Within(t, got, "taker")
+	t.Cleanup(func() { c.Close() })
+	g := &giving{&taking{t, c}, ln}
+	g.hear(decide.Hello)
+	return g
+}
+
+// A snapshot that is truncated, spoilt, of another version, another configuration or another discovery is refused
+// as far as it does not fit, and the new process serves all the same, with what discovery tells it.
+func TestSnapshotsThatDoNotFit(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	d := start(t, w.config(t))
+	k := dial(t, "tcp", d.addrs["desk"])
+	for range 20 {
+		k.ask(t, request("look", 900, ""))
+	}
+	state := func(edit func(*takeover.State)) []byte {
+		s := &takeover.State{Taken: takeover.Monotonic(), Discovery: w.roster.Addr, Core: d.core.Snapshot()}
+		edit(s)
+		return must(s.Encode())
+	}
+	good := state(func(*takeover.State) {})
+	spoilt := append([]byte{}, good...)
+	spoilt[len(spoilt)/2] ^= 1
+	version := append([]byte{}, good...)
+	version[7]++
+	rename := func(old, new string) func(s *takeover.State) {
+		return func(s *takeover.State) {
+			for i := range s.Core.Classes {
+				s.Core.Classes[i].Name = strings.ReplaceAll(s.Core.Classes[i].Name, old, new)
+			}
+		}
+	}
+	for _, tc := range []struct {
+		name  string
+		state []byte
+		taken bool // the endpoint's record is known afterwards
+	}{
+		{"good", good, true},
+		{"nothing", nil, false},
+		{"truncated", good[:len(good)-10], false},
+		{"only a head", good[:20], false},
+		{"spoilt", spoilt, false},
+		{"another version", version, false},
+		{"another discovery", state(func(s *takeover.State) { s.Discovery = "127.0.0.1:1" }), false},
+		{"another class", state(rename("book", "cancel")), true},
+		{"no class that is known", state(func(s *takeover.State) { rename("o", "0")(s); rename("a", "4")(s) }), true},
+		{"names missing", state(func(s *takeover.State) { s.Core.Names = nil }), false},
+		{"so old that nothing of it counts", state(func(s *takeover.State) { s.Taken -= 3600_000_000 }), false},
+		{"from the future", state(func(s *takeover.State) { s.Taken += 3600_000_000 }), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			c := w.config(t)
+			var next *running
+			var serving <-chan map[string]string
+			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
+			g.say(decide.Offer, `{"State":"`+base64(tc.state)+`"}`)
+			g.hear(decide.Ready)
+			if err := g.Write(takeover.Message{Kind: decide.Go, Text: tc.state}); err != nil {
+				t.Fatal(err)
+			}
+			g.hear(decide.Prepared)
+			g.say(decide.Yours, "")
+			next.addrs = peer.Within(t, serving, "a daemon that serves")
+			s := next.core.Snapshot()
+			known := len(s.Learned.Endpoints) == 1 && len(s.Learned.Endpoints[0].Window) > 0
+			if known != tc.taken {
+				t.Errorf("known afterwards: %v, want %v", known, tc.taken)
+			}
+			if resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+				t.Errorf("it answers %s", resp.Status)
+			}
+		})
+	}
+}
+
+// What a giver does out of order or not at all, a taker survives or gives up, and never accepts before its turn.
+func TestGiverThatIsLost(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	for _, tc := range []struct {
+		name   string
+		do     func(g *giving)
+		serves bool
+	}{
+		{"killed before it offers", func(g *giving) { g.ln.Close(); g.Close() }, true},
+		{"killed after it has offered", func(g *giving) { g.say(decide.Offer, "{}"); g.Close() }, true},
+		{"killed before it lets go", func(g *giving) { g.say(decide.Offer, "{}"); g.hear(decide.Ready); g.Close() }, true},
+		{"killed before its last word", func(g *giving) {
+			g.say(decide.Offer, "{}")
+			g.hear(decide.Ready)
+			g.say(decide.Go, "")
+			g.hear(decide.Prepared)
+			g.Close()
+		}, true},
+		{"told to stop meanwhile", func(g *giving) {
+			g.say(decide.Offer, "{}")
+			g.say(decide.Go, "")
+			g.hear(decide.Prepared)
+			g.say(decide.Yours, "")
+			g.say(decide.Done, "")
+		}, true},
+		{"says no", func(g *giving) { g.say(decide.Refused, "another takeover is under way") }, false},
+		{"says no late", func(g *giving) {
+			g.say(decide.Offer, "{}")
+			g.hear(decide.Ready)
+			g.say(decide.Go, "")
+			g.hear(decide.Prepared)
+			g.say(decide.Refused, "no answer in time")
+		}, false},
+		{"offers nonsense", func(g *giving) {
+			g.say(decide.Offer, "}")
+			g.hear(decide.Ready)
+			g.say(decide.Go, "nonsense")
+			g.hear(decide.Prepared)
+			g.say(decide.Yours, "")
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			c := w.config(t)
+			var next *running
+			var serving <-chan map[string]string
+			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
+			tc.do(g)
+			if !tc.serves {
+				if err := peer.Within(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
+					t.Errorf("it ended with %v", err)
+				}
+				if len(serving) != 0 {
+					t.Error("it served")
+				}
+				return
+			}
+			next.addrs = peer.Within(t, serving, "a daemon that serves")
+			eventually(t, "answers", func() bool {
+				resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, ""))
+				return resp.StatusCode == 200
+			})
+		})
+	}
+}
+
+// SIGTERM to the old process while the new one is starting: the new one serves, and who connects meanwhile waits.
+func TestStopWhileHandingOver(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	c := w.config(t, "127.0.0.1:0", freeAddr(t))
+	d := start(t, c)
+	atRest := dial(t, "tcp", d.addrs["desk"])
+	if resp, _ := atRest.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+	// A taker by hand, slow to become ready; it then passes on what it heard to a real one, as nobody else may.
+	k := take(t, c.Takeover.Socket)
+	k.hear(decide.Offer)
+	d.stop()
+	k.hear(decide.Go)
+	waiting := dial(t, "tcp", d.addrs["desk"]) // nobody accepts it yet
+	if _, err := io.WriteString(waiting, request("look", 5000, "")); err != nil {
+		t.Fatal(err)
+	}
+	k.say(decide.Prepared, "")
+	k.hear(decide.Yours)
+	m, err := k.Read()
+	if err != nil || m.Kind != takeover.Handed || len(m.Files) != 1 {
+		t.Errorf("the connection at rest: %v, %d files, %v", m.Kind, len(m.Files), err)
+	}
+	m.CloseFiles()
+	k.hear(decide.Done)
+	if err := peer.Within(t, d.ended, "end of the old one"); err != nil {
+		t.Error(err)
+	}
+
+	// SIGTERM to the new one before it serves leaves the old one as it was.
+	w2 := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+	c = w2.config(t, "127.0.0.1:0", freeAddr(t))
+	d = start(t, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	unready := *c
+	mute := board.New(t) // a discovery that tells nothing: it does not become ready
+	unready.Discovery.Address = mute.Addr
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, Options{Config: &unready, Log: testLog(), Seed: 3}) }()
+	peer.Within(t, mute.After, "a new process that starts")
+	cancel()
+	if err := peer.Within(t, ended, "end of the new one"); err != nil {
+		t.Errorf("the new one: %v", err)
+	}
+	d.stillServes(t)
+}
+
+// While both are alive a cold endpoint gets no more than from one alone, and one that drains gets nothing past the
+// grace from either.
+func TestTwoAliveAtOnce(t *testing.T) {
+	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 3 * time.Millisecond}})
+	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
+	d := start(t, c.config)
+	addr := d.addrs["desk"]
+	load := desk(addr, 500, 3*time.Second, nil)
+	report := make(chan client.Report, 1)
+	go func() { report <- load.Run(context.Background()) }()
+	eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 300 })
+	// One starts anew, one begins to drain, and at the same moment the processes change.
+	cold, drained := w.entry(1), w.entry(2)
+	cold.StartedMs = time.Now().UnixMilli()
+	drained.Lifecycle = "draining"
+	w.roster.Set(cold, drained)
+	told := time.Now()
+	next := succeed(t, d, c)
+	r := peer.Within(t, report, "report")
+	if r.By[client.Served] < r.Asked*95/100 {
+		t.Errorf("%d asked, %v", r.Asked, r.By)
+	}
+	grace := c.config.Rules.DrainGrace.Duration
+	count := 0
+	for _, run := range w.ledger.Runs() {
+		if run.Endpoint == "s-2" && run.At.Sub(told) > grace {
+			t.Errorf("the draining endpoint got a request %v after it was told", run.At.Sub(told))
+		}
+		if run.Endpoint == "s-1" && run.At.After(told) {
+			count++
+		}
+	}
+	// It starts at a fifth of its work, warm in 20 s; sent 2.5 times what it can do for 2 s it falls over. In 3 s its
+	// share of 500 a second, were it warm, is 250 a second: a fifth to a third of that, times 2.5, bounds both together.
+	if most := 618; count > most || count == 0 {
+		t.Errorf("the cold endpoint got %d requests, want 1 to %d", count, most)
+	}
+	_ = next
+}
+
+// The new process of one that was killed starts cold, at its own pace, on the sockets that were left behind.
+func TestOldOneKilled(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	c := w.config(t)
+	// What a killed process leaves: sockets at whose paths nobody listens.
+	for _, path := range []string{"/takeover.sock", "/clients.sock"} {
+		fd := must(syscall.Socket(syscall.AF_UNIX, syscall.SOCK_SEQPACKET, 0))
+		if err := syscall.Bind(fd, &syscall.SockaddrUnix{Name: w.dir + path}); err != nil {
+			t.Fatal(err)
+		}
+		syscall.Close(fd)
+	}
+	d := start(t, c)
+	d.stillServes(t)
+	if s := d.core.Snapshot(); s.Learned.Endpoints[0].RTT.N > 5 {
+		t.Errorf("it knows what nobody told it: %+v", s.Learned.Endpoints[0])
+	}
+}
+
+// Nothing that can be sent brings the reader of messages or of states down.
+func TestBrokenMessages(t *testing.T) {
+	dir := t.TempDir()
+	ln := must(takeover.Listen(dir + "/s"))
+	defer ln.Close()
+	if _, err := takeover.Listen(dir + "/s"); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("a second listener: %v", err)
+	}
+	if info := must(os.Stat(dir + "/s")); info.Mode().Perm() != 0o600 {
+		t.Errorf("permissions %v", info.Mode().Perm())
+	}
+	must(ln.Accept()).Close() // its question whether somebody listens
+	a := must(takeover.Dial(dir + "/s"))
+	b := must(ln.Accept())
+	defer b.Close()
+	big := strings.Repeat("x", 1<<20)
+	go a.Write(takeover.Message{Kind: decide.Go, Text: []byte(big)})
+	if m, err := b.Read(); err != nil || m.Kind != decide.Go || string(m.Text) != big {
+		t.Errorf("%v, %d bytes, %v", m.Kind, len(m.Text), err)
+	}
+	a.Close()
+	if _, err := b.Read(); err == nil {
+		t.Error("a message from a connection that has ended")
+	}
+}
--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -182,6 +182,13 @@
 	return err
 }
 
+// ReadWithin waits for a message for so long.
+func (c *Conn) ReadWithin(d time.Duration) (Message, error) {
+	c.c.SetReadDeadline(time.Now().Add(d))
+	defer c.c.SetReadDeadline(time.Time{})
+	return c.Read()
+}
+
 // Read waits for a message. Its files are the reader's to close. What makes no sense is an error, and so is the
 // connection's end.
 func (c *Conn) Read() (Message, error) {
