--- /dev/null
+++ b/internal/daemon/faults_test.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/standin/client"
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/peer"
+)
+
+// A daemon that is killed with bookings and unsafe requests in flight loses their answers and nothing else: the next
+// process starts cold on the sockets left behind, and nothing runs again by itself.
+func TestDaemonKilledWithRequestsInFlight(t *testing.T) {
+	w := newWorld(t, 2, endpoint.Options{})
+	held := make(chan struct{}, 8)
+	for _, e := range w.endpoints {
+		e.Faults(func(r *http.Request) endpoint.Fault {
+			if r.URL.Path != "/look/1" {
+				held <- struct{}{}
+				return endpoint.Silent
+			}
+			return endpoint.None
+		})
+	}
+	text := w.file("127.0.0.1:0", freeAddr(t))
+	old := spawn(t, "daemon", text)
+	peer.Within(t, old.lines, "daemon")
+	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
+	ready := dial(t, "tcp", c.Listeners[0].Address)
+	eventually(t, "ready", func() bool {
+		resp, _ := ready.ask(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		return resp.StatusCode == 200
+	})
+	var open []*link
+	for _, class := range []string{"book", "pay"} {
+		k := dial(t, "unix", strings.TrimPrefix(c.Listeners[1].Address, "unix:"))
+		if _, err := io.WriteString(k, request(class, 900, "x")); err != nil {
+			t.Fatal(err)
+		}
+		peer.Within(t, held, "attempt")
+		open = append(open, k)
+	}
+	old.Process.Kill()
+	<-old.ended
+	for _, k := range open {
+		k.SetReadDeadline(time.Now().Add(peer.Soon))
+		if n, err := k.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%d bytes of an answer that nobody gave", n)
+		}
+	}
+	next := start(t, c)
+	for range 20 {
+		if resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			t.Fatalf("the next process: %s", resp.Status)
+		}
+	}
+	ran := map[string]int{}
+	for _, r := range w.ledger.Runs() {
+		ran[r.Class]++
+	}
+	if ran["book"] != 1 || ran["pay"] != 1 {
+		t.Errorf("ran: %v, want each once", ran)
+	}
+}
+
+// A client that opens as many connections as it may and sits costs nobody else anything, and beyond that its own
+// oldest connections make room.
+func TestClientThatSits(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	d := start(t, w.config(t, "[connections]\n", "[connections]\nclients = 40\nat_rest = 30\n",
+		"name = \"desk\"\n[[client]]", "name = \"desk\"\nconnections = 10\n[[client]]"))
+	other := dial(t, "unix", d.addrs["local"])
+	if resp, _ := other.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+	var sits []net.Conn
+	for range 25 {
+		c, err := net.Dial("tcp", d.addrs["desk"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		sits = append(sits, c)
+	}
+	for i, c := range sits[:15] {
+		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+			t.Fatalf("connection %d of 25, 10 allowed: %v, want it closed", i, err)
+		}
+	}
+	for range 3 {
+		if resp, _ := other.ask(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("another client: %s, close %v", resp.Status, resp.Close)
+		}
+		if resp, _ := dial(t, "unix", d.addrs["local"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			t.Errorf("another client's new connection: %s", resp.Status)
+		}
+	}
+	last := &link{Conn: sits[24]}
+	last.r = readerOf(last.Conn)
+	if resp, _ := last.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Errorf("its own latest connection: %s", resp.Status)
+	}
+}
+
+// Slow readers on every connection of one client, each with an answer as large as one may be, hold up nobody else,
+// and what is held for them is given back when they go.
+func TestSlowReaders(t *testing.T) {
+	w := newWorld(t, 4, endpoint.Options{Body: 60 << 10})
+	d := start(t, w.config(t, "name = \"desk\"\n[[client]]", "name = \"desk\"\nconnections = 60\nbytes_held = \"1MiB\"\n[[client]]"))
+	var slow []net.Conn
+	for range 60 {
+		c, err := net.Dial("tcp", d.addrs["desk"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.(*net.TCPConn).SetReadBuffer(2048)
+		for range 3 { // it does not wait for its answers, and reads none
+			io.WriteString(c, request("look", 900, ""))
+		}
+		slow = append(slow, c)
+	}
+	other := client.New(client.Options{Name: "other", Network: "unix", Addr: d.addrs["local"], Tenant: "acme", Rate: 100,
+		For: time.Second, Classes: []client.Class{{Name: "look", Share: 1, Method: "GET", Wait: time.Second}}})
+	if r := other.Run(context.Background()); r.By[client.Served] != r.Asked || r.Asked < 50 {
+		t.Errorf("another client: %d asked, %v", r.Asked, r.By)
+	}
+	for _, c := range slow {
+		c.Close()
+	}
+	eventually(t, "all given back", func() bool {
+		for _, h := range d.clients.held() {
+			if h.Client == "desk" && (h.Connections != 0 || h.Bytes != 0) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Without descriptors to accept with, the daemon serves the connections that it has, and accepts again once it can.
+func TestOutOfDescriptors(t *testing.T) {
+	w := newWorld(t, 1, endpoint.Options{})
+	text := w.file("127.0.0.1:0", freeAddr(t))
+	t.Setenv("DUNLINSAILD_TEST_FILES", "40")
+	p := spawn(t, "daemon", text)
+	peer.Within(t, p.lines, "daemon")
+	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
+	k := dial(t, "tcp", c.Listeners[0].Address)
+	eventually(t, "ready", func() bool {
+		resp, _ := k.ask(t, request("look", 900, ""))
+		return resp.StatusCode == 200
+	})
+	var crowd []net.Conn
+	for range 200 {
+		if c, err := net.Dial("tcp", c.Listeners[0].Address); err == nil {
+			crowd = append(crowd, c)
+		}
+	}
+	served := 0
+	for range 30 { // on the connection that there was, or on a new one if that has made room
+		if _, err := io.WriteString(k, request("look", 900, "")); err == nil {
+			k.SetReadDeadline(time.Now().Add(peer.Soon))
+			if resp, err := http.ReadResponse(k.r, nil); err == nil {
+				io.Copy(io.Discard, resp.Body)
+				if resp.StatusCode == 200 {
+					served++
+				}
+				continue
+			}
+		}
+		k = dial(t, "tcp", c.Listeners[0].Address)
+	}
+	if served < 15 {
+		t.Errorf("%d of 30 requests served while descriptors were short", served)
+	}
+	for _, c := range crowd {
+		c.Close()
+	}
+	eventually(t, "it accepts again", func() bool {
+		k := dial(t, "tcp", c.Listeners[0].Address)
+		resp, _ := k.ask(t, request("look", 900, ""))
+		k.Close()
+		return resp.StatusCode == 200
+	})
+	select {
+	case err := <-p.ended:
+		t.Errorf("it has ended: %v", err)
+	default:
+	}
+}
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	b64 "encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,8 +12,13 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
+	"os/signal"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +27,7 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/roster"
@@ -263,6 +270,13 @@
 	return resp, string(body)
 }
 
+func readerOf(c net.Conn) *bufio.Reader { return bufio.NewReader(c) }
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // eventually waits for what becomes true by itself.
 func eventually(t *testing.T, what string, is func() bool) {
 	t.Helper()
@@ -273,4 +287,84 @@
 	}
 }
 
-func role() {}
+// role runs a part of a test in a process of its own: this binary, started again.
+func role() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer cancel()
+	text := os.Getenv("DUNLINSAILD_TEST_WITH")
+	fail := func(err error) {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, os.Getenv("DUNLINSAILD_TEST_ROLE"), err)
+			os.Exit(1)
+		}
+	}
+	switch os.Getenv("DUNLINSAILD_TEST_ROLE") {
+	case "daemon":
+		c, err := config.Parse([]byte(text))
+		fail(err)
+		if n, err := strconv.ParseUint(os.Getenv("DUNLINSAILD_TEST_FILES"), 10, 32); err == nil {
+			fail(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}))
+		}
+		fail(Run(ctx, Options{Config: c, Log: testLog(), Serving: func(map[string]string) { fmt.Println("serving") }}))
+	case "client": // prints a line for each request's end
+		var o client.Options
+		fail(json.Unmarshal([]byte(text), &o))
+		out := json.NewEncoder(os.Stdout)
+		var mu sync.Mutex
+		o.OnDone = func(r client.Result) {
+			mu.Lock()
+			defer mu.Unlock()
+			out.Encode(r)
+		}
+		client.New(o).Run(ctx)
+	case "talker": // writes a text to a connection and then neither reads nor writes
+		network, rest, _ := strings.Cut(text, " ")
+		addr, say, _ := strings.Cut(rest, " ")
+		c, err := net.Dial(network, addr)
+		fail(err)
+		_, err = io.WriteString(c, say)
+		fail(err)
+		fmt.Println("said")
+		<-ctx.Done()
+	}
+}
+
+// program is a part of a test in a process of its own.
+type program struct {
+	*exec.Cmd
+	lines chan string // of its standard output; closed at its end
+	ended chan error  // its end, once; then closed
+}
+
+// spawn starts one.
+func spawn(t *testing.T, role, with string) *program {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "DUNLINSAILD_TEST_ROLE="+role, "DUNLINSAILD_TEST_WITH="+with)
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{cmd, make(chan string, 1<<10), make(chan error, 1)}
+	go func() {
+		in := bufio.NewScanner(out)
+		for in.Scan() {
+			p.lines <- in.Text()
+		}
+		close(p.lines)
+		p.ended <- cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		for range p.lines {
+		}
+		<-p.ended
+	})
+	return p
+}
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -39,7 +39,7 @@
 	For     time.Duration // then it stops asking and waits for what is open
 	Most    int           // requests open at once; more are not asked but counted as Skipped; 0 is no bound
 	Seed    uint64
-	OnDone  func(Result) // called for each request when it is over, from many goroutines; may be nil
+	OnDone  func(Result) `json:"-"` // called for each request when it is over, from many goroutines; may be nil
 }
 
 // Verdict is what became of a request.
@@ -52,7 +52,7 @@
 	Failed           // any other whole answer
 	Lost             // no whole answer: the connection broke, or could not be had
 	TimedOut         // the client gave up
-	Wrong            // an answer that is another request's
+	Wrong            // an answer that is another request's, or more than one
 )
 
 var verdicts = [...]string{"served", "refused", "failed", "lost", "timed out", "wrong"}
@@ -66,7 +66,8 @@
 	Code           int
 	Began          time.Time
 	Took           time.Duration
-	Err            error // for Lost
+	Err            error  `json:"-"` // for Lost and TimedOut
+	Why            string // the same, for those who read it elsewhere
 }
 
 // Report sums up what became of a client's requests.
@@ -208,7 +209,7 @@
 		}
 		r.Took = time.Since(r.Began)
 		if err != nil {
-			r.Verdict, r.Err = Lost, err
+			r.Verdict, r.Err, r.Why = Lost, err, err.Error()
 			var timeout net.Error
 			if errors.As(err, &timeout) && timeout.Timeout() {
 				r.Verdict = TimedOut
@@ -257,14 +258,15 @@
 		k.Close()
 		return false, err
 	}
-	if resp.Close {
+	more := k.r.Buffered() > 0 // behind the one answer
+	if resp.Close || more {
 		k.Close()
 	} else {
 		c.put(k)
 	}
 	r.Code = resp.StatusCode
 	switch {
-	case r.Code == http.StatusOK && !strings.HasPrefix(string(body), r.ID+" "):
+	case more, r.Code == http.StatusOK && !strings.HasPrefix(string(body), r.ID+" "):
 		r.Verdict = Wrong
 	case r.Code == http.StatusOK:
 		r.Verdict = Served
