Add dunlinsaild playground: a daemon at work beside stand-ins, one screen a second

Need: a newcomer should see in one command what the daemon does; and the program itself, not only its packages, must keep serving while a successor fails.

Change: internal/playground starts stand-in endpoints and a roster, the daemon and five client processes, one of which asks for far more than its share; every 40 s a new daemon takes over, an endpoint drains and comes back cold, and one fails a class.

--- a/cmd/dunlinsaild/main.go
+++ b/cmd/dunlinsaild/main.go
@@ -15,10 +15,14 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/playground"
 )
 
-const usage = `usage: dunlinsaild --config FILE          serve; take over from the process that serves now
-       dunlinsaild check --config FILE    say what is wrong with a file
+const usage = `usage: dunlinsaild --config FILE [--debug] [--announce]
+                                         serve; take over from the process that serves now;
+                                         print a line once serving
+       dunlinsaild check --config FILE          say what is wrong with a file
+       dunlinsaild playground [--for T] [--quiet]   show a daemon at work beside stand-ins; Ctrl-C ends it
 `
 
 func main() {
@@ -42,10 +46,21 @@
 	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
 		command, args = args[0], args[1:]
 	}
+	switch command {
+	case "playground":
+		return play(stop, args)
+	case "playground-client": // a part of the playground
+		if err := playground.Client(stop, os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+		return exitOK
+	}
 	flags := flag.NewFlagSet(command, flag.ContinueOnError)
 	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
 	path := flags.String("config", "", "the file")
 	debug := flags.Bool("debug", false, "log more")
+	announce := flags.Bool("announce", false, "print a line once serving")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
@@ -62,7 +77,7 @@
 		fmt.Printf("%s: sound\n", *path)
 		return exitOK
 	}
-	return serve(stop, *path, c, *debug, reload)
+	return serve(stop, *path, c, *debug, *announce, reload)
 }
 
 // tell says what is wrong with a file, a line for each mistake.
@@ -77,7 +92,7 @@
 	fmt.Fprintf(os.Stderr, "%v\n", err)
 }
 
-func serve(stop context.Context, path string, c *config.Config, more bool, reload <-chan os.Signal) int {
+func serve(stop context.Context, path string, c *config.Config, more, announce bool, reload <-chan os.Signal) int {
 	level := slog.LevelInfo
 	if more {
 		level = slog.LevelDebug
@@ -87,8 +102,11 @@
 		log.Error("cannot start", "error", err)
 		return exitFailed
 	}
-	err := daemon.Run(stop, daemon.Options{Config: c, Log: log, Reload: reload,
-		Read: func() (*config.Config, error) { return config.Read(path) }})
+	o := daemon.Options{Config: c, Log: log, Reload: reload, Read: func() (*config.Config, error) { return config.Read(path) }}
+	if announce {
+		o.Serving = func(map[string]string) { fmt.Println("serving") }
+	}
+	err := daemon.Run(stop, o)
 	if err != nil {
 		log.Error("ended", "error", err)
 		return exitFailed
@@ -97,6 +115,32 @@
 	return exitOK
 }
 
+// play runs the playground.
+func play(stop context.Context, args []string) int {
+	flags := flag.NewFlagSet("playground", flag.ContinueOnError)
+	flags.Usage = func() { fmt.Fprint(os.Stderr, usage) }
+	length := flags.Duration("for", 0, "end after so long")
+	quiet := flags.Bool("quiet", false, "nothing goes wrong by itself")
+	if flags.Parse(args) != nil {
+		return exitUsage
+	}
+	if flags.NArg() > 0 {
+		flags.Usage()
+		return exitUsage
+	}
+	self, err := os.Executable()
+	if err == nil {
+		info, statErr := os.Stdout.Stat()
+		terminal := statErr == nil && info.Mode()&os.ModeCharDevice != 0
+		err = playground.Run(stop, playground.Options{Program: self, Out: os.Stdout, Clear: terminal, For: *length, Quiet: *quiet})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "playground:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 // prepare sets what holds for the whole process.
 func prepare(p *config.Process) error {
 	if p.Cores > 0 {
--- /dev/null
+++ b/internal/playground/playground.go
@@ -0,0 +1,490 @@
+// Package playground shows a daemon at work on one machine: stand-in endpoints and a stand-in roster in this process,
+// the daemon and a few client processes as processes of their own, one screen of figures a second, and now and then
+// something that goes wrong. It knows the daemon by its command line and its file only.
+package playground
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/standin/client"
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/roster"
+)
+
+// Options say what to show.
+type Options struct {
+	Program string        // dunlinsaild
+	Out     io.Writer     // the screen
+	Clear   bool          // it is a terminal: each screen replaces the one before
+	For     time.Duration // 0 is until told to end
+	Quiet   bool          // nothing goes wrong by itself
+}
+
+// Run plays until its time is over or stop ends, and ends all that it started.
+func Run(stop context.Context, o Options) (err error) {
+	if o.For > 0 {
+		var cancel context.CancelFunc
+		stop, cancel = context.WithTimeout(stop, o.For)
+		defer cancel()
+	}
+	dir, err := os.MkdirTemp("", "dunlinsail")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	p := &play{o: o, dir: dir, began: time.Now(), figures: map[string]*figures{}}
+	defer p.end()
+	if err := p.start(stop); err != nil {
+		return err
+	}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for second := 1; ; second++ {
+		select {
+		case <-tick.C:
+		case <-stop.Done():
+			return nil
+		case err := <-p.broken:
+			return err
+		}
+		if !o.Quiet {
+			p.trouble(second)
+		}
+		p.screen(second)
+	}
+}
+
+// play is what runs.
+type play struct {
+	o      Options
+	dir    string
+	desk   string // address of the TCP listener
+	began  time.Time
+	broken chan error
+
+	roster    *roster.Server
+	ledger    *endpoint.Ledger
+	endpoints []*node
+	daemon    *program
+	programs  []*program
+	over      bool
+
+	mu      sync.Mutex
+	figures map[string]*figures
+	events  []string
+}
+
+// node is a stand-in endpoint and its entry in the roster.
+type node struct {
+	*endpoint.Server
+	entry  discovery.Instance
+	served int // when last looked
+}
+
+// figures are a client's of the present second, and of all.
+type figures struct {
+	by   [6]int
+	took []time.Duration
+	all  [6]int
+}
+
+// cast are the client processes: the last asks for far more than its share, now and then.
+var cast = []struct {
+	name, network string
+	rate          float64
+}{{"desk-1", "tcp", 60}, {"desk-2", "tcp", 40}, {"phone-1", "unix", 30}, {"phone-2", "unix", 30}, {"report", "unix", 500}}
+
+const (
+	nodes     = 6
+	nodeCores = 2
+	nodeWork  = 15 * time.Millisecond
+)
+
+func (p *play) start(stop context.Context) error {
+	p.broken = make(chan error, 1)
+	var entries []discovery.Instance
+	p.ledger = &endpoint.Ledger{}
+	for i := range nodes {
+		n, err := p.node(i)
+		if err != nil {
+			return err
+		}
+		p.endpoints = append(p.endpoints, n)
+		entries = append(entries, n.entry)
+	}
+	var err error
+	if p.roster, err = roster.Start(entries...); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.desk = ln.Addr().String()
+	ln.Close()
+	if err := os.WriteFile(p.file(), []byte(p.config()), 0o600); err != nil {
+		return err
+	}
+	if err := p.serve(stop); err != nil {
+		return err
+	}
+	for i, c := range cast {
+		o := client.Options{Name: c.name, Network: c.network, Addr: p.desk, Tenant: "acme", Rate: c.rate, For: 1e6 * time.Hour,
+			Most: 500, Seed: uint64(i), Classes: []client.Class{
+				{Name: "open-slots", Share: 0.5, Method: "GET", Wait: 500 * time.Millisecond},
+				{Name: "chair-status", Share: 0.3, Method: "GET", Wait: 500 * time.Millisecond},
+				{Name: "book", Share: 0.2, Method: "POST", Keyed: true, Body: 300, Wait: 600 * time.Millisecond}}}
+		if c.network == "unix" {
+			o.Addr = filepath.Join(p.dir, "clients.sock")
+		}
+		if err := p.client(c.name, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// node starts an endpoint.
+func (p *play) node(i int) (*node, error) {
+	zones := []string{"heredia", "san-jose", "cartago"}
+	o := endpoint.Options{Name: fmt.Sprint("s-", i), Work: map[string]time.Duration{"": nodeWork, "book": 2 * nodeWork},
+		Spread: 0.3, Cores: nodeCores, Queue: 50, Keyed: 400 * time.Millisecond, Ledger: p.ledger}
+	if time.Since(p.began) > time.Second { // one that starts while all run is cold
+		o.ColdFrom, o.Warm = 0.2, 10*time.Second
+	}
+	s, err := endpoint.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Addr: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
+		Lifecycle: "up", Weight: 1}
+	if o.Warm > 0 {
+		e.StartedMs = time.Now().UnixMilli()
+	}
+	return &node{Server: s, entry: e}, nil
+}
+
+func (p *play) file() string { return filepath.Join(p.dir, "playground.toml") }
+
+func (p *play) config() string {
+	return `name = "playground"
+[discovery]
+address = "` + p.roster.Addr + `"
+[takeover]
+socket = "` + p.dir + `/takeover.sock"
+[[listener]]
+name = "desk"
+address = "` + p.desk + `"
+client = "desk"
+[[listener]]
+name = "local"
+address = "unix:` + p.dir + `/clients.sock"
+client = "process"
+[[client]]
+name = "desk"
+weight = 2.0
+[[client]]
+name = "process"
+per_process = true
+connections = 400
+[fleet]
+zone = "heredia"
+zones = ["heredia", "san-jose", "cartago"]
+machines = ["std-2c"]
+[[class]]
+name = "open-slots"
+repeat = "safe"
+aim = "250ms"
+give_up = "500ms"
+worth = 2.0
+[[class]]
+name = "chair-status"
+repeat = "safe"
+aim = "200ms"
+give_up = "500ms"
+worth = 3.0
+[[class]]
+name = "book"
+repeat = "keyed"
+group = "cell"
+window = "400ms"
+aim = "300ms"
+give_up = "600ms"
+worth = 5.0
+[[tenant]]
+name = "acme"
+allowance = 1000.0
+share = 1.0
+[probes]
+on = true
+report = "probe"
+fields = ["inflight", "queue"]
+[rules]
+warm_after = "10s"
+[prices]
+cross_zone = 0.01
+probe = 0.002
+`
+}
+
+// program is a process that is ended with all others.
+type program struct {
+	*exec.Cmd
+	done chan struct{} // closed once it has ended
+	err  error         // its end; to be read after done
+}
+
+// spawn starts a program. What it prints goes to out, if that is not nil, and its log to a file.
+func (p *play) spawn(in io.Reader, out io.Writer, log string, args ...string) (*program, error) {
+	cmd := exec.Command(p.o.Program, args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is ours to pass on
+	cmd.Stdin, cmd.Stdout = in, out
+	file, err := os.OpenFile(filepath.Join(p.dir, log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	cmd.Stderr = file
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	x := &program{Cmd: cmd, done: make(chan struct{})}
+	p.mu.Lock()
+	p.programs = append(p.programs, x)
+	p.mu.Unlock()
+	go func() {
+		x.err = cmd.Wait()
+		close(x.done)
+	}()
+	return x, nil
+}
+
+// serve starts a daemon, which takes over from the one that serves, if any, and waits until it serves.
+func (p *play) serve(stop context.Context) error {
+	serving, says := io.Pipe()
+	x, err := p.spawn(nil, says, "daemon.log", "--config", p.file(), "--announce")
+	if err != nil {
+		return err
+	}
+	word := make(chan struct{})
+	go func() {
+		if bufio.NewScanner(serving).Scan() {
+			close(word)
+		}
+		io.Copy(io.Discard, serving)
+	}()
+	select {
+	case <-word:
+	case <-x.done:
+		text, _ := os.ReadFile(filepath.Join(p.dir, "daemon.log"))
+		return fmt.Errorf("the daemon ended: %w\n%s", x.err, text)
+	case <-stop.Done():
+		return nil
+	}
+	p.mu.Lock()
+	old := p.daemon
+	p.daemon = x
+	p.mu.Unlock()
+	go func() {
+		<-x.done
+		says.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.over && p.daemon == x {
+			p.broken <- fmt.Errorf("the daemon ended: %w", x.err)
+		}
+	}()
+	if old != nil {
+		p.say("process %d took over from process %d", x.Process.Pid, old.Process.Pid)
+	}
+	return nil
+}
+
+// client starts a client process and gathers what it tells.
+func (p *play) client(name string, o client.Options) error {
+	text, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	out, tells := io.Pipe()
+	x, err := p.spawn(strings.NewReader(string(text)), tells, "clients.log", "playground-client")
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-x.done
+		tells.Close()
+	}()
+	f := &figures{}
+	p.mu.Lock()
+	p.figures[name] = f
+	p.mu.Unlock()
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			var r client.Result
+			if json.Unmarshal(lines.Bytes(), &r) != nil || int(r.Verdict) >= len(f.by) {
+				continue
+			}
+			p.mu.Lock()
+			f.by[r.Verdict]++
+			f.all[r.Verdict]++
+			if r.Verdict == client.Served {
+				f.took = append(f.took, r.Took)
+			}
+			p.mu.Unlock()
+		}
+	}()
+	return nil
+}
+
+// Client is a client process: its options come from in, and a line goes out for each request's end.
+func Client(stop context.Context, in io.Reader, out io.Writer) error {
+	var o client.Options
+	if err := json.NewDecoder(in).Decode(&o); err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	lines := json.NewEncoder(out)
+	o.OnDone = func(r client.Result) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines.Encode(r)
+	}
+	client.New(o).Run(stop)
+	return nil
+}
+
+// say notes what has happened.
+func (p *play) say(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, fmt.Sprintf("%4.0f s  %s", time.Since(p.began).Seconds(), fmt.Sprintf(format, args...)))
+	if over := len(p.events) - 6; over > 0 {
+		p.events = p.events[over:]
+	}
+}
+
+// trouble has something go wrong, in turn.
+func (p *play) trouble(second int) {
+	last := p.endpoints[len(p.endpoints)-1]
+	switch second % 40 {
+	case 8:
+		p.say("a new daemon process is started, as for an upgrade")
+		go func() {
+			if err := p.serve(context.Background()); err != nil {
+				p.say("%v", err)
+			}
+		}()
+	case 15:
+		p.say("%s begins to drain", last.entry.ID)
+		last.entry.Lifecycle = "draining"
+		p.roster.Set(last.entry)
+	case 18:
+		p.say("%s is gone; one in its place starts cold", last.entry.ID)
+		last.entry.Lifecycle = "removed"
+		p.roster.Set(last.entry)
+		last.Close()
+		if n, err := p.node(len(p.endpoints) - 1); err == nil {
+			p.endpoints[len(p.endpoints)-1] = n
+			p.roster.Set(n.entry)
+		}
+	case 28:
+		p.say("%s fails every booking", p.endpoints[0].entry.ID)
+		p.endpoints[0].Faults(func(r *http.Request) endpoint.Fault {
+			if strings.HasPrefix(r.URL.Path, "/book") {
+				return endpoint.Fail
+			}
+			return endpoint.None
+		})
+	case 35:
+		p.say("%s is well again", p.endpoints[0].entry.ID)
+		p.endpoints[0].Faults(nil)
+	}
+}
+
+// screen prints the second's figures.
+func (p *play) screen(second int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var b strings.Builder
+	if p.o.Clear {
+		b.WriteString("\x1b[H\x1b[2J")
+	}
+	fmt.Fprintf(&b, "dunlinsaild playground, %d s. Daemon: process %d, its log in %s. Ctrl-C ends all.\n\n", second,
+		p.daemon.Process.Pid, filepath.Join(p.dir, "daemon.log"))
+	fmt.Fprintf(&b, "%-10s %9s %9s %9s %9s %9s %9s\n", "client", "served/s", "refused/s", "failed/s", "lost/s", "p50 ms", "p99 ms")
+	var total figures
+	for _, c := range cast {
+		f := p.figures[c.name]
+		f.line(&b, c.name)
+		for i := range f.by {
+			total.by[i] += f.by[i]
+		}
+		total.took = append(total.took, f.took...)
+		f.by, f.took = [6]int{}, nil
+	}
+	total.line(&b, "all")
+	fmt.Fprintf(&b, "\n%-24s %-10s %-9s %9s %9s %9s\n", "endpoint", "zone", "state", "served/s", "working", "waiting")
+	for _, n := range p.endpoints {
+		working, waiting := n.Load()
+		served := n.Served()
+		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n", n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.served, working, waiting)
+		n.served = served
+	}
+	b.WriteString("\n" + strings.Join(p.events, "\n") + "\n")
+	io.WriteString(p.o.Out, b.String())
+}
+
+func (f *figures) line(w io.Writer, name string) {
+	slices.Sort(f.took)
+	quantile := func(q float64) float64 {
+		if len(f.took) == 0 {
+			return 0
+		}
+		return f.took[min(len(f.took)-1, int(q*float64(len(f.took))))].Seconds() * 1000
+	}
+	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9.1f %9.1f\n", name, f.by[client.Served], f.by[client.Refused], f.by[client.Failed],
+		f.by[client.Lost]+f.by[client.TimedOut]+f.by[client.Wrong], quantile(0.5), quantile(0.99))
+}
+
+// end ends all that was started.
+func (p *play) end() {
+	p.mu.Lock()
+	p.over = true
+	programs := p.programs
+	p.mu.Unlock()
+	for _, x := range programs {
+		x.Process.Signal(syscall.SIGTERM)
+	}
+	late := time.After(3 * time.Second)
+	for _, x := range programs {
+		select {
+		case <-x.done:
+		case <-late:
+			x.Process.Kill()
+			<-x.done
+		}
+	}
+	if p.roster != nil {
+		p.roster.Close()
+	}
+	for _, n := range p.endpoints {
+		n.Close()
+	}
+}
