Look at the pace of probes twice a second: busy sidecars were blind after a start

It probed nothing for the first 5 to 15 s, at 300 requests a second. Start armed the first round at once, when no request had come: the pace was probeLeast (0.1 a second), and the next round waits for as long as the pace of that moment says. Without answers, what others hold counts as nothing, every wait is learned as work (131 ms for 50), the best prediction misses the aim, and all is refused; what is refused teaches nothing. Excluded: endpoints' cold limits (nothing cold before the release), breakers and ejections (4 of 78), the retry credit (full).

Change: probeRound lets probes come due by the pace and looks at the pace again within 0.25 to 0.75 s.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -52,6 +52,7 @@
 	b.lag.n, b.refused.n = settled, settled
 	b.trend, b.trust = 1, 0.5
 	b.credit, b.round = budgetBurst, 1
+	b.due, b.roundAt = 1, now
 	if b.s.Subscribe {
 		// All instances of a fleet may start at once: spread their first calls.
 		b.askIn(now, 1+b.rng.below(b.s.Contract.AskWithin/10))
@@ -349,7 +350,8 @@
 // ---- Probe pool and pick ---------------------------------------------------
 
 const (
-	probeGap    = second / 10 // longest pause between probe rounds
+	probeGap    = second / 10 // longest pause between probe rounds of several
+	probeLook   = second / 2  // about so often the pace of probes is looked at anew
 	probeSpend  = 0.005       // of the result, at most, goes to probes while requests are refused;
 	probeCalm   = 0.2         // while none are, such a part of that tells as much (docs/design/model.md)
 	refusedSome = 0.05        // part of the requests refused at which that ends
@@ -398,12 +400,20 @@
 	}
 }
 
-// probeRound probes a few random ready endpoints and arms the next round.
+// probeRound probes as many random ready endpoints as the pace has let come due, and arms the next
+// round. It looks again soon even while the pace is low: a pace of before the requests came would
+// leave a busy balancer blind.
 func (b *Balancer) probeRound(now Micros) {
 	rate := b.probeRate(now)
-	n := max(1, min(probeBatch, int(rate*float64(probeGap)/float64(second))))
-	b.probeSome(now, n, false)
-	b.out.Timer(1+Micros(float64(n)/rate*float64(second)*(0.5+b.rng.float())), tokenProbe)
+	b.due = min(probeBatch, b.due+rate*float64(now-b.roundAt)/float64(second))
+	b.roundAt = now
+	if n := int(b.due); n > 0 {
+		b.probeSome(now, n, false)
+		b.due -= float64(n)
+	}
+	n := max(1, min(probeBatch, rate*float64(probeGap)/float64(second)))
+	wait := max(0, n-b.due) / rate * (0.5 + b.rng.float())
+	b.out.Timer(1+min(Micros(wait*float64(second)), probeLook/2+b.rng.below(probeLook)), tokenProbe)
 }
 
 // probeSome probes n random ready endpoints; asked says that held requests wait for them.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -42,6 +42,8 @@
 	credit   float64 // retry budget, in attempts
 
 	watched, renewed float64 // time over which reports were watched, and how often they changed
+	due              float64 // probes that the pace has let come due
+	roundAt          Micros  // until when that is counted
 	checks           int     // endpoints asked twice for that
 	checked          uint32  // the latest of them
 
