Let cold endpoints have their part while all else is overrun, and go there first

Endpoints warm by work, so they stayed cold.

Three lines did it. An old answer fades to what others usually hold over all endpoints (load): a cold one counted as busy as the warm ones, and as slow besides, so none was picked. Few of a pool of 24 are cold ones with room (pick). And what one may get followed what was sent (coldRoom): the more was refused, the less they were let have. Each balancer's own part is a request each 18 s at each cold endpoint; with 80 balancers that is a third of what it can do, and nobody took it. Excluded: probes (they find cold ones often enough), breakers, retry credit.

Change: the usual load of cold endpoints is known apart; two cold endpoints are drawn for each request and go first where they would answer in time; their part follows what is asked for; 0.4 of the multiple at which one falls over, 0.28 before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -291,7 +291,7 @@
 // balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
 // is charged a little more than its work, for the handshake that it may cost.
 const (
-	coldShare  = 0.28 // of the multiple at which it falls over
+	coldShare  = 0.4 // of the multiple at which it falls over
 	coldCharge = 1.15
 	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
 )
@@ -299,7 +299,7 @@
 // coldRoom refills the token bucket of a cold endpoint and says whether a
 // request of this work fits.
 func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
-	rate := b.sentWork.rate(now)
+	rate := max(b.sentWork.rate(now), b.demand.rate(now)*b.work.v)
 	strength := b.strength(now)
 	if b.warm == 0 { // what is sent would only follow what cold ones are let have
 		rate = b.demand.rate(now) * work
@@ -315,11 +315,14 @@
 // leaves few of them would seem to leave a large part of the traffic for each cold one.
 func (b *Balancer) strength(now Micros) float64 {
 	if now >= b.strongAt {
-		b.strong, b.warm, b.strongAt = 0, 0, now+second/10
+		b.strong, b.warm, b.strongAt, b.colds = 0, 0, now+second/10, b.colds[:0]
 		for _, e := range b.list {
 			if e.State == Ready {
 				b.strong += e.warmth(now, b)
 				b.warm += share(!e.isCold)
+				if e.isCold {
+					b.colds = append(b.colds, e)
+				}
 			}
 		}
 	}
@@ -371,6 +374,7 @@
 	poolOldest  = 30 * second // but no longer
 	lagMost     = 0.1         // share of late reports above which their averages serve
 	lagWeight   = 0.02
+	coldDraws   = 2 // cold endpoints looked at for a request
 	paceLife    = 10 * second
 	paceWeight  = 0.03
 	crowdMost   = 2.0 // sends of others held to go with one of our own since an answer, at most
@@ -469,7 +473,11 @@
 		}
 		b.pool = append(b.pool, e)
 		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
-		b.usual.add(e.others, 1/float64(min(poolMost, len(b.list))))
+		usual := &b.usual
+		if e.cold(now, b) {
+			usual = &b.usualCold
+		}
+		usual.add(e.others, 1/float64(min(poolMost, len(b.list))))
 	}
 	// An answer that counts fewer than we alone have there is late, unless some are
 	// still on their way. If that happens often, the pool misleads: averages serve then.
@@ -507,14 +515,24 @@
 // are held to send as we do: they hold that answer, too, and would all pile up where it is low. As it ages
 // it tells less and less of how e differs from others: an old low one would win over what is known now.
 func (b *Balancer) load(now Micros, e *endpoint) float64 {
+	usual := b.usualLoad(now, e)
 	if b.reportsLate || !e.hasLoad {
-		return b.usual.v + float64(e.inflight)
+		return usual + float64(e.inflight)
 	}
 	told := math.Exp(-(float64(now-e.answerAt) + b.refresh()/2) / (memory * b.work.v))
-	return b.usual.v + (e.others-b.usual.v)*told + float64(e.inflight) +
+	return usual + (e.others-usual)*told + float64(e.inflight) +
 		min(crowdMost, float64(b.s.Balancers-1)/2)*float64(max(0, e.inflight-e.ownAt))
 }
 
+// usualLoad is what others usually hold at an endpoint like e. Cold ones hold little, since all
+// balancers let them have little: taken for as busy as the warm ones, they would stay cold.
+func (b *Balancer) usualLoad(now Micros, e *endpoint) float64 {
+	if e.cold(now, b) {
+		return b.usualCold.v
+	}
+	return b.usual.v
+}
+
 // onCore is the part of a request's time alone for which it needs a core. Where endpoints report their
 // service time without waiting, that is known: what waits for others slows nobody.
 func (b *Balancer) onCore() float64 {
@@ -548,8 +566,10 @@
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
 	aim := float64(b.class(r).Aim)
 	expected := b.predict(now, e, r.work)
-	// One that answers in time goes first, if far.
-	c := expected + share(expected > b.room(now, r, e))*aim
+	// One that answers in time goes first, if far; of these a cold one: what it may get is little, and
+	// it warms by it.
+	late := expected > b.room(now, r, e)
+	c := expected + share(late)*aim - share(e.isCold && !late)*aim
 	c += 0.05 * b.classes[r.Class].work.or(0) * e.paceNow(now, b) * b.load(now, e)
 	return c + zoneWeight*b.s.Prices.CrossZone*aim*share(int(e.Zone) != b.s.Zone)
 }
@@ -590,6 +610,7 @@
 // or should not go to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
 	oldest := now - b.freshFor(now)
+	b.strength(now)
 	var best *endpoint
 	var least float64
 	for pass := 0; pass < 2 && best == nil; pass++ {
@@ -606,6 +627,14 @@
 				}
 			}
 		}
+		// Few of a pool's answers are from cold endpoints, and what those may get is lost if nobody takes it.
+		for try := 0; try < coldDraws && len(b.colds) > 0; try++ {
+			if e := b.colds[b.rng.index(len(b.colds))]; fits(e) {
+				if c := b.cost(now, r, e); best == nil || c < least {
+					best, least = e, c
+				}
+			}
+		}
 		// A pool of few would take all: while most endpoints are unanswered, draws compete.
 		n := 2 * share(pooled < 2 || len(b.list) <= poolMost && 2*pooled < len(b.list))
 		for try := 0; n > 0 && try < 8 && len(b.list) > 0; try++ {
--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -14,6 +14,7 @@
 	Work, Fleet               Average
 	Trend, Trust              float64
 	Lag, Usual, Service       Average
+	UsualCold                 Average // as Usual, at endpoints that are cold
 	ReportsLate               bool
 	Watched, Renewed          float64
 	Tenants                   []float64 // rates a second, in the order of the settings
@@ -76,7 +77,7 @@
 func (b *Balancer) Learned(now Micros) *Learned {
 	l := &Learned{Demand: b.demand.rate(now), SentWork: b.sentWork.rate(now), Refused: b.refused.v,
 		Work: b.work.learned(), Fleet: b.fleet.learned(), Trend: b.trend, Trust: b.trust, Lag: b.lag.learned(),
-		Usual: b.usual.learned(), Service: b.service.learned(), ReportsLate: b.reportsLate, Watched: b.watched, Renewed: b.renewed}
+		Usual: b.usual.learned(), UsualCold: b.usualCold.learned(), Service: b.service.learned(), ReportsLate: b.reportsLate, Watched: b.watched, Renewed: b.renewed}
 	for i := range b.classes {
 		c := &b.classes[i]
 		l.Classes = append(l.Classes, LearnedClass{c.work.learned(), c.asked.rate(now), c.good.learned()})
@@ -130,6 +131,7 @@
 	b.work, b.fleet = l.Work.restored(), l.Fleet.restored()
 	b.trend, b.trust = min(trendMost, max(1/trendMost, sane(l.Trend))), min(1, sane(l.Trust))
 	b.lag, b.usual, b.service = l.Lag.restored(), l.Usual.restored(), l.Service.restored()
+	b.usualCold = l.UsualCold.restored()
 	b.reportsLate, b.watched, b.renewed = l.ReportsLate, sane(l.Watched), sane(l.Renewed)
 	fits := len(l.Classes) == len(b.classes)
 	for i := range b.classes {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -30,16 +30,17 @@
 	askWait    Micros
 
 	classes  []classStats
-	tenants  []meter // requests taken, by tenant
-	fleet    ewma    // pace of the whole fleet
-	demand   meter   // requests taken
-	sentWork meter   // work sent
-	work     ewma    // mean work of a request
-	strong   float64 // what the ready endpoints can do, in warm ones
-	warm     float64 // of them warm
-	strongAt Micros  // when to count that again
-	refused  ewma    // share of requests refused at arrival
-	credit   float64 // retry budget, in attempts
+	tenants  []meter     // requests taken, by tenant
+	fleet    ewma        // pace of the whole fleet
+	demand   meter       // requests taken
+	sentWork meter       // work sent
+	work     ewma        // mean work of a request
+	strong   float64     // what the ready endpoints can do, in warm ones
+	warm     float64     // of them warm
+	colds    []*endpoint // of them cold
+	strongAt Micros      // when to count that again
+	refused  ewma        // share of requests refused at arrival
+	credit   float64     // retry budget, in attempts
 
 	watched, renewed float64 // time over which reports were watched, and how often they changed
 	due              float64 // probes that the pace has let come due
@@ -48,7 +49,8 @@
 	checked          uint32  // the latest of them
 
 	lag         ewma // share of load reports that must be late
-	usual       ewma // load of others at an endpoint, over all answers
+	usual       ewma // load of others at a warm endpoint, over all answers
+	usualCold   ewma // at a cold one
 	reportsLate bool
 	service     ewma    // reported time of service without waiting
 	trust       float64 // power of a hint that work grows with
