Spread a fleet's calls of discovery by its size; hard cases of fleet scale as tests

Observed: the new test of 80 sidecars that start within 100 ms saw 77 calls in the first second and 46 in the fourth. Lines at fault: Start spreads over AskWithin/10 however many there are, retryAsk begins with half a second.

Change: both spread over 50 ms for each sidecar of the fleet (askSpread), within half of AskWithin.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,7 +55,7 @@
 	b.due, b.roundAt = 1, now
 	if b.s.Subscribe {
 		// All instances of a fleet may start at once: spread their first calls.
-		b.askIn(now, 1+b.rng.below(b.s.Contract.AskWithin/10))
+		b.askIn(now, 1+b.rng.below(b.askSpread()))
 	}
 	if b.s.Limits.Probes {
 		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
@@ -329,11 +329,19 @@
 	return b.strong
 }
 
+const askCall = 50_000 // microseconds that discovery is taken to need for a call
+
 func (b *Balancer) askIn(now, delay Micros) {
 	b.askAt = now + delay
 	b.out.Timer(delay, tokenDiscovery)
 }
 
+// askSpread is the time over which the calls of a fleet that start together are spread. A list costs
+// discovery a while for each entry, so calls of many come no faster than it may be able to answer.
+func (b *Balancer) askSpread() Micros {
+	return min(max(b.s.Contract.AskWithin/10, Micros(b.s.Balancers)*askCall), b.s.Contract.AskWithin/2)
+}
+
 func (b *Balancer) ask(now Micros) {
 	if b.s.Subscribe && !b.subscribed && now >= b.askAt {
 		b.out.Watch(true)
@@ -345,7 +353,7 @@
 // retryAsk asks discovery again, later each time and never in step with others.
 func (b *Balancer) retryAsk(now Micros) {
 	if b.s.Subscribe {
-		b.askWait = min(max(2*b.askWait, b.s.Contract.AskWithin/20), b.s.Contract.AskWithin/4)
+		b.askWait = min(max(2*b.askWait, b.askSpread()/2), b.s.Contract.AskWithin/4)
 		b.askIn(now, 1+b.askWait/2+b.rng.below(b.askWait))
 	}
 }
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // What one sidecar of a large fleet gets wrong alone: few requests, dear probes, no word from the others.
 
@@ -96,3 +99,275 @@
 		t.Errorf("cold endpoints got %.0f%% of the least that they can do, want half at least", 100*used)
 	}
 }
+
+// asking is a balancer that asks a discovery which answers few calls and fails those that wait too long.
+type asking struct {
+	b    *Balancer
+	r    *recorder
+	at   Micros // of its next timer of discovery
+	seen int    // of its recorder's timers
+	told bool
+}
+
+func (a *asking) next(now Micros) {
+	for ; a.seen < len(a.r.timers); a.seen++ {
+		if a.r.timers[a.seen] == tokenDiscovery {
+			a.at = now + a.r.delays[a.seen]
+		}
+	}
+}
+
+// Eighty sidecars start within 100 ms while discovery answers four calls a second and fails what waits for two seconds.
+// All are told within a minute, calls do not come faster than it fails them, and meanwhile the known list serves.
+func TestFleetAsksAnOverbookedDiscovery(t *testing.T) {
+	const balancers, perCall, patience = 80, second / 4, 2 * second
+	s := testSettings()
+	s.Subscribe, s.Balancers = true, balancers
+	rng := source(3)
+	var fleet []*asking
+	for seed := range uint64(balancers) {
+		a := &asking{r: &recorder{}}
+		var err error
+		if a.b, err = New(s, seed, a.r); err != nil {
+			t.Fatal(err)
+		}
+		from := rng.below(second / 10)
+		a.b.Start(from)
+		a.b.Members(from, ListCached, ready(6))
+		a.next(from)
+		fleet = append(fleet, a)
+	}
+	type call struct {
+		a  *asking
+		at Micros
+	}
+	var line []call
+	var free Micros
+	inSecond := map[Micros]int{}
+	calls, told := 0, 0
+	for now := Micros(0); now < 60*second && told < balancers; now += 10_000 {
+		for _, a := range fleet {
+			if a.at > 0 && a.at <= now {
+				a.at = 0
+				was := a.r.watches
+				a.b.Timer(now, tokenDiscovery)
+				if a.r.watches > was {
+					calls++
+					inSecond[now/second]++
+					line = append(line, call{a, now})
+				}
+				a.next(now)
+			}
+			id := uint64(now) + 1
+			if n := len(a.r.sends); now%second == 0 {
+				a.b.Request(now, Request{ID: id, Deadline: now + second})
+				if len(a.r.sends) != n+1 {
+					t.Fatalf("at %d ms a request was not sent: the known list should serve", now/1000)
+				}
+				a.b.Outcome(now, Outcome{ID: id, Endpoint: a.r.sends[n].endpoint, Status: OK, Latency: 30_000, Settled: true})
+			}
+		}
+		for len(line) > 0 && (now >= free || now-line[0].at > patience) {
+			c := line[0]
+			line = line[1:]
+			if now-c.at > patience {
+				c.a.b.Members(now, ListFailed, nil)
+				c.a.next(now)
+				continue
+			}
+			free = now + perCall
+			c.a.b.Members(now, ListFull, ready(6))
+			if !c.a.told {
+				c.a.told = true
+				told++
+			}
+		}
+	}
+	if told < balancers {
+		t.Errorf("%d of %d were told in a minute, by %d calls", told, balancers, calls)
+	}
+	for at, n := range inSecond {
+		if n > balancers/2 {
+			t.Errorf("%d calls in second %d: they come together", n, at)
+		}
+	}
+	if calls > 6*balancers {
+		t.Errorf("%d calls to tell %d", calls, balancers)
+	}
+}
+
+// A first list that never comes: what is known serves, and where nothing is known all is refused at once and asked for on.
+func TestFirstListNeverComes(t *testing.T) {
+	for _, known := range []int{0, 5} {
+		s := testSettings()
+		s.Subscribe = true
+		b, r := start(t, s, ready(known))
+		asked := 0
+		for now := Micros(0); now < 60*second; now += second {
+			for i := len(r.timers) - 1; i >= 0; i-- {
+				if r.timers[i] == tokenDiscovery {
+					b.Timer(b.askAt, tokenDiscovery)
+					break
+				}
+			}
+			if r.watches > asked {
+				asked = r.watches
+				b.Members(now, ListFailed, nil)
+			}
+			id := uint64(now) + 1
+			b.Request(now, request0(id, 0, now))
+			if known == 0 && (len(r.refused) == 0 || r.refused[len(r.refused)-1] != id) {
+				t.Fatalf("at %d s: not refused at once", now/second)
+			}
+			if known > 0 {
+				n := len(r.sends)
+				if n == 0 || r.sends[n-1].id != id {
+					t.Fatalf("at %d s: not sent", now/second)
+				}
+				b.Outcome(now, Outcome{ID: id, Status: OK, Latency: 30_000, Settled: true})
+			}
+		}
+		if asked < 5 {
+			t.Errorf("%d known: discovery was asked %d times in a minute", known, asked)
+		}
+	}
+}
+
+// Six in ten of the list are replaced, in one change or in twenty, with requests out at those that go. Nothing new goes
+// to these, each request has one final answer, and what answers late is taken.
+func TestReplacedWithRequestsOut(t *testing.T) {
+	for _, changes := range []int{1, 20} {
+		const all, gone = 60, 36
+		s := testSettings()
+		b, r := start(t, s, ready(all))
+		now := Micros(0)
+		for i := range uint64(all) {
+			now += 1000
+			b.Request(now, request0(i+1, 0, now))
+		}
+		open := slices.Clone(r.sends)
+		list := ready(all + gone)
+		removed := map[uint32]bool{}
+		per := (gone + changes - 1) / changes
+		for from := 0; from < gone; from += per {
+			now += 10_000
+			var delta []Endpoint
+			for i := from; i < min(from+per, gone); i++ {
+				old, fresh := list[i], list[all+i]
+				old.State, fresh.StartTime = Gone, now
+				delta = append(delta, old, fresh)
+				removed[old.ID] = true
+			}
+			b.Members(now, ListDelta, delta)
+			for i := range uint64(40) {
+				n := len(r.sends)
+				b.Request(now, request0(1000*uint64(now)+i, 0, now))
+				if len(r.sends) > n && removed[r.sends[n].endpoint] {
+					t.Errorf("%d changes: a request went to endpoint %d, which is gone", changes, r.sends[n].endpoint)
+				}
+				if len(r.sends) > n {
+					b.Outcome(now, Outcome{ID: r.sends[n].id, Endpoint: r.sends[n].endpoint, Status: OK, Latency: 20_000, Settled: true})
+				}
+			}
+		}
+		for _, x := range open { // half were served before their endpoint went, half saw their connection break
+			status := OK
+			if removed[x.endpoint] && x.id%2 == 0 {
+				status = Reset
+			}
+			b.Outcome(now, Outcome{ID: x.id, Endpoint: x.endpoint, Status: status, Latency: now, Settled: status == OK})
+		}
+		for i := len(open); len(r.sends) > i; i++ { // the second tries of those
+			b.Outcome(now, Outcome{ID: r.sends[i].id, Attempt: 1, Endpoint: r.sends[i].endpoint, Status: OK, Latency: 20_000, Settled: true})
+		}
+		if b.open != 0 || len(b.requests) != 0 {
+			t.Errorf("%d changes: %d requests have no answer, %d are remembered", changes, b.open, len(b.requests))
+		}
+		b.Members(now, ListDelta, nil)
+		if len(b.list) != all {
+			t.Errorf("%d changes: %d endpoints are held, want %d", changes, len(b.list), all)
+		}
+	}
+}
+
+// A list that shrinks to one: all goes there while an answer would be in time, the rest is refused at once, and when
+// the others come back they are used again.
+func TestListShrinksToOne(t *testing.T) {
+	b, r := start(t, testSettings(), ready(20))
+	b.Members(second, ListFull, ready(1))
+	now := second
+	for i := range uint64(200) {
+		now += 1000
+		b.Request(now, request0(i+1, 0, now))
+	}
+	if len(r.sends)+len(r.refused) != 200 || len(r.refused) == 0 || len(r.sends) == 0 {
+		t.Fatalf("%d sent, %d refused of 200", len(r.sends), len(r.refused))
+	}
+	for _, x := range r.sends {
+		if x.endpoint != 1 {
+			t.Fatalf("sent to %d, which is not listed", x.endpoint)
+		}
+		b.Outcome(now, Outcome{ID: x.id, Endpoint: 1, Status: OK, Latency: 100_000, Settled: true})
+	}
+	b.Members(now, ListFull, ready(20))
+	now += 60 * second // they were always up; what was learned of the crowd has aged
+	r.sends = r.sends[:0]
+	for i := range uint64(40) {
+		b.Request(now, request0(1000+i, 0, now))
+	}
+	used := map[uint32]bool{}
+	for _, x := range r.sends {
+		used[x.endpoint] = true
+	}
+	if len(used) < 10 {
+		t.Errorf("%d endpoints used of 20 that are back", len(used))
+	}
+}
+
+// A fifth of the new endpoints fail all that they are asked. A sidecar with three requests a second and one with a
+// hundred, alone with what they see: both serve nearly all, the busy one finds them soon.
+func TestBadOnesAmongNewEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		rate  float64
+		least float64 // part served
+	}{{3, 0.9}, {100, 0.97}} {
+		s := testSettings()
+		s.Balancers, s.Prices.Probe = 80, probeSpend*probeCalm/0.05
+		b, r := start(t, s, ready(24))
+		list := ready(60)
+		for i := 24; i < 60; i++ {
+			list[i].StartTime = second
+		}
+		b.Members(second, ListFull, list)
+		served, all := 0, 0
+		failed := map[uint64]bool{}
+		for now := second; now < 31*second; now += Micros(float64(second) / c.rate) {
+			b.Timer(now, tokenProbe)
+			id := uint64(now)
+			n := len(r.sends)
+			b.Request(now, Request{ID: id, Deadline: now + second})
+			for _, e := range slices.Clone(r.probes) {
+				b.Probed(now, e, OK, 1000, []float32{1})
+			}
+			r.probes = r.probes[:0]
+			all++
+			for try := 0; len(r.sends) > n; try++ {
+				e := r.sends[n].endpoint
+				n = len(r.sends)
+				if e > 24 && e%5 == 0 {
+					b.Outcome(now, Outcome{ID: id, Attempt: try, Endpoint: e, Status: Error, Latency: 1000})
+					failed[id] = true
+					continue
+				}
+				b.Outcome(now, Outcome{ID: id, Attempt: try, Endpoint: e, Status: OK, Latency: 30_000, Settled: true})
+				served++
+			}
+		}
+		if part := float64(served) / float64(all); part < c.least {
+			t.Errorf("%v a second: %.3f of %d served, want %.2f", c.rate, part, all, c.least)
+		}
+		if c.rate > 50 && len(failed) > all/20 {
+			t.Errorf("%v a second: %d of %d requests met a bad endpoint", c.rate, len(failed), all)
+		}
+	}
+}
