--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
@@ -43,6 +44,10 @@
 	p.X.Label.Text, p.Y.Label.Text = x, y
 	p.Legend.Top = true
 	p.Legend.Left = false
+	// A browser without the plot's own font shows a wider one: small text keeps within the picture.
+	for _, f := range []*font.Font{&p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font, &p.X.Tick.Label.Font, &p.Y.Tick.Label.Font, &p.Legend.TextStyle.Font} {
+		f.Size, f.Variant = vg.Points(9), "Sans"
+	}
 	p.Add(plotter.NewGrid())
 	return p
 }
@@ -279,11 +284,11 @@
 				shares = append(shares, r)
 			}
 		}
-		picture, err := differences(shares, 100, "B less A, in percentage points; bars are intervals of 95%")
+		picture, err := differences(shares, 100, "B less A, percentage points, with 95% intervals")
 		if err := add("Differences of shares", "Right of the line B has more. For what is refused, failed, lost, unserved, wasted or late, less is better.", picture, err); err != nil {
 			return nil, err
 		}
-		picture, err = differences(times, 1, "B less A, in milliseconds; bars are intervals of 95%")
+		picture, err = differences(times, 1, "B less A, milliseconds, with 95% intervals")
 		if err := add("Differences of times", "Left of the line B is faster.", picture, err); err != nil {
 			return nil, err
 		}
