--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,14 +193,15 @@
 	// Of a fleet of many quiet instances (package subset).
 	Subset     int     `toml:"subset"`      // endpoints that this instance deals with, at least; 0 is all
 	NodeProbes float64 `toml:"node_probes"` // probes a second that one endpoint has for the whole fleet; 0 is no bound
+	NodeIdle   float64 `toml:"node_idle"`   // idle connections that one endpoint holds for the whole fleet; 0 is no bound
 }
 
 // Part is which part of the list an instance deals with; nil is all of it.
 func (f *Fleet) Part() *subset.Settings {
-	if f.Subset == 0 && f.NodeProbes == 0 {
+	if f.Subset == 0 && f.NodeProbes == 0 && f.NodeIdle == 0 {
 		return nil
 	}
-	s := &subset.Settings{Position: uint64(f.Position), Instances: f.Instances, Least: f.Subset, Probes: f.NodeProbes}
+	s := &subset.Settings{Position: uint64(f.Position), Instances: f.Instances, Least: f.Subset, Probes: f.NodeProbes, IdleConnections: f.NodeIdle}
 	if f.Subset == 0 {
 		s.Least = math.MaxInt32
 	}
@@ -555,6 +556,7 @@
 	k.That(len(f.Machines) < 255, "fleet.machines", "at most 254")
 	k.That(f.KeepAlive.Duration > 0, "fleet.keep_alive", "must be positive")
 	k.That(f.Subset >= 0 && f.Subset <= 1000, "fleet.subset", "%d: must be in 0..1000", f.Subset)
+	k.That(f.NodeIdle >= 0 && f.NodeIdle <= 1e6, "fleet.node_idle", "%v: must be in 0..1000000", f.NodeIdle)
 	k.That(f.NodeProbes >= 0 && f.NodeProbes <= 1e6, "fleet.node_probes", "%v: must be in 0..1000000", f.NodeProbes)
 	k.That(f.OverShareWorth >= 0 && f.OverShareWorth <= 1, "fleet.over_share_worth", "%v: must be in 0..1", f.OverShareWorth)
 	k.That(a.Most >= 1, "attempts.most", "%d: must be at least 1", a.Most)
--- a/internal/config/resources_test.go
+++ b/internal/config/resources_test.go
@@ -49,6 +49,7 @@
 	"fleet.machines":             {`["m1"]`, `"m1"`},
 	"fleet.over_share_worth":     {`0.5`, `2`},
 	"fleet.position":             {`0`, `9`},
+	"fleet.node_idle":            {`60`, `-1`},
 	"fleet.node_probes":          {`20`, `-1`},
 	"fleet.subset":               {`8`, `-1`},
 	"fleet.worth_by":             {`"work"`, `"weight"`},
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -36,7 +36,7 @@
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
 	p := &pool{conf: conf}
 	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), Known: engine.Told{Generation: discovery.Unlisted},
-		RetryShare: conf.RetryBudget, Subset: d.config.Fleet.Part(), Watch: func(bool) {}}
+		RetryShare: conf.RetryBudget, Subset: d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
 		c.Listed = true
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -20,6 +20,7 @@
 	Watch  func(on bool) // asks for the list's changes, or ends that; must not wait
 
 	Subset *subset.Settings // the instance deals with a part of the list only; nil is with all
+	Rest   func(n float64)  // told how many idle connections the pool may hold, with Subset; may be nil; must not wait
 
 	RetryShare float64 // retries at its endpoints, as a part of their requests; 0 is the site's
 }
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -19,6 +19,7 @@
 	until  map[string]Micros // those that are unwell by them, and until when that is believed
 	alarm  *alarm            // for the set's next step
 	probes subset.Bucket
+	rest   func(n float64)
 	first  float64 // part of a probe that the bucket begins with
 }
 
@@ -35,7 +36,7 @@
 		return err
 	}
 	p.narrowed = &narrowed{set: set, whole: map[string]Member{}, seen: map[string]bool{}, fails: map[string]int{}, until: map[string]Micros{},
-		first: p.engine.rng.Float64()}
+		rest: p.config.Rest, first: p.engine.rng.Float64()}
 	return nil
 }
 
@@ -74,8 +75,11 @@
 	for _, e := range list { // in their order: what is left to chance must not depend on a map's
 		n.set.Unwell(now, e.ID, n.whole[e.ID].State != balancer.Ready || n.until[e.ID] > now)
 	}
-	n.probes.Rate = n.set.Budgets().Probes
-	n.probes.Burst = n.probes.Rate
+	budgets := n.set.Budgets()
+	n.probes.Rate, n.probes.Burst = budgets.Probes, budgets.Probes
+	if n.rest != nil && budgets.IdleConnections > 0 {
+		n.rest(budgets.IdleConnections)
+	}
 	out := told
 	out.Members = n.members()
 	if out.Kind == balancer.ListDelta {
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -35,6 +35,7 @@
 	resting  [][]*conns.Conn[*clientConn] // of each process, the one used last behind
 	upstream map[int][]kept               // connections to endpoints without an open request
 	conns    int                          // all of them
+	rest     float64                      // that may be kept; 0 is no bound
 
 	open    []*try // taken and without an answer
 	listed  bool   // it has been told a list
@@ -90,7 +91,7 @@
 		own.Position, own.Instances = uint64(in.n), len(r.plan.Instances)
 		part = &own
 	}
-	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, RetryShare: r.settings.RetryBudget, Known: engine.Told{Generation: -1}, Watch: in.watch})
+	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Rest: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, Known: engine.Told{Generation: -1}, Watch: in.watch})
 	if err != nil {
 		return err
 	}
@@ -420,6 +421,9 @@
 	in, r := s.in, s.in.run
 	all := in.upstream[s.to.n]
 	idle := r.settings.Site.KeepAlive.Microseconds() * 2 / 3
+	if in.rest > 0 && in.rest < 1 {
+		idle = Micros(float64(idle) * in.rest) // as upstream.Pool.Rest has it
+	}
 	for len(all) > 0 {
 		k := all[len(all)-1]
 		all = all[:len(all)-1]
@@ -515,7 +519,18 @@
 
 // keep gives the connection back for the next.
 func (s *sending) keep() {
-	s.in.upstream[s.to.n] = append(s.in.upstream[s.to.n], kept{s.conn, s.in.run.now})
+	in := s.in
+	in.upstream[s.to.n] = append(in.upstream[s.to.n], kept{s.conn, in.run.now})
+	if in.rest == 0 {
+		return
+	}
+	resting := 0
+	for _, all := range in.upstream {
+		resting += len(all)
+	}
+	for ; resting > max(1, int(in.rest)); resting-- {
+		in.evict()
+	}
 }
 
 // end tells the engine what came of the attempt, if it still waits for that.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,6 +48,10 @@
 	idle   map[*Target]struct{} // those with idle connections
 	noRoom time.Time            // when a shortage of connections was last logged
 	closed bool                 // nothing idle is kept any more
+
+	rest     map[string]float64 // idle connections that may be held, by whom it was said; nil is no bound
+	restMost int                // that many; 0 is no bound
+	resting  int                // held
 }
 
 // New returns an empty pool. Run its Keep.
@@ -160,6 +164,30 @@
 
 func (p *Pool) usable(c *Conn) bool { return time.Since(c.idle) < p.idleMost && c.alive() }
 
+// Rest bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
+// one, one is held for that part of its time: over many instances that comes to the same. The one unused longest gives way.
+func (p *Pool) Rest(who string, n float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rest == nil {
+		p.rest = map[string]float64{}
+	}
+	p.rest[who] = n
+	var sum float64
+	for _, n := range p.rest {
+		sum += n
+	}
+	p.restMost = max(1, int(sum))
+	p.idleMost = time.Duration(float64(p.o.KeepAlive*2/3) * min(1, sum))
+	p.trimLocked()
+}
+
+// trimLocked closes what is held at rest beyond its bound.
+func (p *Pool) trimLocked() {
+	for p.restMost > 0 && p.resting > p.restMost && p.evictLocked() {
+	}
+}
+
 // Put gives back a connection on which nothing is out any more.
 func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
@@ -171,6 +199,8 @@
 	c.idle = time.Now()
 	c.to.idle = append(c.to.idle, c)
 	p.idle[c.to] = struct{}{}
+	p.resting++
+	p.trimLocked()
 }
 
 // Discard closes a connection that Get returned.
@@ -188,6 +218,7 @@
 // popLocked takes an idle connection out.
 func (p *Pool) popLocked(to *Target, i int) *Conn {
 	c := to.idle[i]
+	p.resting--
 	if to.idle = slices.Delete(to.idle, i, i+1); len(to.idle) == 0 {
 		delete(p.idle, to)
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -479,3 +479,43 @@
 		t.Error("more was written to a mute probe")
 	}
 }
+
+// What may rest is bounded for all who have endpoints here together; the one unused longest gives way, and a part of one is
+// a part of its time.
+func TestRestingConnectionsAreBounded(t *testing.T) {
+	u := newPool()
+	ctx := context.Background()
+	var conns []*Conn
+	for range 5 {
+		addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
+		c, err := u.Get(ctx, u.at(addr))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	u.Rest("a", 1.2)
+	u.Rest("b", 2.1)
+	for _, c := range conns {
+		u.Put(c)
+	}
+	if u.conns != 3 || u.resting != 3 {
+		t.Errorf("%d open, %d at rest, want 3", u.conns, u.resting)
+	}
+	for i, c := range conns {
+		if kept := len(c.to.idle) == 1; kept != (i >= 2) {
+			t.Errorf("connection %d is kept: %v", i, kept)
+		}
+	}
+	u.Rest("b", 0)
+	if u.conns != 1 || u.resting != 1 {
+		t.Errorf("%d open, %d at rest after a tighter bound, want 1", u.conns, u.resting)
+	}
+	if got, err := u.Get(ctx, conns[4].to); err != nil || got != conns[4] || u.resting != 0 {
+		t.Errorf("the one kept is not used again (error %v, %d at rest)", err, u.resting)
+	}
+	whole := newPool().idleMost
+	if u.Rest("a", 0.25); u.idleMost != whole/4 || u.restMost != 1 {
+		t.Errorf("a quarter of a connection: %d for %v, want one for %v", u.restMost, u.idleMost, whole/4)
+	}
+}
