Keep a cold endpoint cold when a whole list is told again to an instance with a subset

Cause: narrowed.take emptied what it held before it looked there for when an endpoint was first told. A second whole list made one that had just started count as long up: its record was reset, and it lost the bound on what a cold one gets. What was gone and came back counted as long up as well. What appears was told apart by a rule that differed from the balancer's.

Change: the list before is kept while the new one is read; names that are gone are forgotten; 'appeared while we watched' goes by the same rule as in the balancer. A pool that goes takes its bound on idle connections back (Pool.Rest with 0); an arc over many endpoints is cut without comparing each with each.

Result: the test fails without it (started at 1 in place of the instant it appeared).

--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -285,8 +285,8 @@
 			if part <= 1e-9 {
 				continue // it ends where the arc begins, but for rounding
 			}
-			if at := slices.IndexFunc(list, func(m Member) bool { return m.ID == p.ID }); at >= 0 {
-				list[at].Share += part // both ends of the arc lie on it
+			if len(list) > 0 && list[0].ID == p.ID {
+				list[0].Share += part // both ends of the arc lie on it
 			} else {
 				list = append(list, Member{p.ID, part})
 			}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -135,6 +135,9 @@
 	p.engine.callOff(p.wake)
 	if p.narrowed != nil {
 		p.engine.callOff(p.narrowed.alarm)
+		if p.narrowed.rest != nil {
+			p.narrowed.rest(0)
+		}
 	}
 	for _, e := range p.byName {
 		e.Target.Drop()
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -14,7 +14,8 @@
 type narrowed struct {
 	set    *subset.Set
 	whole  map[string]Member // by name
-	seen   map[string]bool   // names that a list has told
+	asked  bool              // discovery answers only when asked: a list that was known may be old
+	listed bool              // there is a list that is not
 	fails  map[string]int    // of members, failures in a row
 	until  map[string]Micros // those that are unwell by them, and until when that is believed
 	alarm  *alarm            // for the set's next step
@@ -35,36 +36,38 @@
 	if err != nil {
 		return err
 	}
-	p.narrowed = &narrowed{set: set, whole: map[string]Member{}, seen: map[string]bool{}, fails: map[string]int{}, until: map[string]Micros{},
+	p.narrowed = &narrowed{set: set, whole: map[string]Member{}, asked: p.engine.config.Site.Settings.Subscribe, fails: map[string]int{}, until: map[string]Micros{},
 		rest: p.config.Rest, first: p.engine.rng.Float64()}
 	return nil
 }
 
 // take takes news of the whole list and returns what the balancer is told in its place.
 func (n *narrowed) take(now Micros, told Told) Told {
-	first := len(n.seen) == 0
-	if told.Kind != balancer.ListDelta {
+	before := n.whole
+	if told.Kind == balancer.ListDelta {
+		before = maps.Clone(n.whole)
+	} else {
 		n.whole = map[string]Member{}
 	}
 	for _, m := range told.Members {
-		if m.State == balancer.Gone {
+		if m.Name == "" || m.State == balancer.Gone {
 			delete(n.whole, m.Name)
-			delete(n.seen, m.Name)
-			delete(n.fails, m.Name)
-			delete(n.until, m.Name)
 			continue
 		}
 		if m.Started == 0 {
-			// What leaves the subset and comes back has not just started, and what appears while we watch has.
-			if old, ok := n.whole[m.Name]; ok {
+			// The balancer takes what is new to it for just started, once it has a list. Of what leaves the subset and comes
+			// back that is not so: it started when it was first told.
+			if old, ok := before[m.Name]; ok {
 				m.Started = old.Started
-			} else if m.Started = 1; !first && !n.seen[m.Name] {
+			} else if m.Started = 1; n.listed {
 				m.Started = now
 			}
 		}
-		n.seen[m.Name] = true
 		n.whole[m.Name] = m
 	}
+	n.listed = n.listed || told.Kind != balancer.ListCached || !n.asked
+	maps.DeleteFunc(n.fails, func(name string, _ int) bool { return n.whole[name].Name == "" })
+	maps.DeleteFunc(n.until, func(name string, _ Micros) bool { return n.whole[name].Name == "" })
 	list := make([]subset.Endpoint, 0, len(n.whole))
 	for _, m := range n.whole {
 		// Weights that tell of load would move the subsets with it: what is registered is not told apart from that.
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -169,6 +169,16 @@
 	if got := h.p.narrowed.whole["s-new"].Started; got != now {
 		t.Errorf("what appeared counts as started at %d, want %d", got, now)
 	}
+	// Another whole list does not make it older, and what was gone and comes back has just started.
+	whole := append(append([]Member{}, list...), fresh)
+	h.p.Members(now+second, Told{Kind: balancer.ListFull, Generation: 3, Members: whole})
+	if got := h.p.narrowed.whole["s-new"].Started; got != now {
+		t.Errorf("after a whole list it counts as started at %d, want %d", got, now)
+	}
+	if got := h.p.narrowed.whole[gone].Started; got != now+second {
+		t.Errorf("what came back counts as started at %d, want %d", got, now+second)
+	}
+	h.p.Members(now+second, Told{Kind: balancer.ListDelta, Generation: 4, Members: []Member{{Name: gone, State: balancer.Gone}}})
 	if n := len(h.x.Snapshot(now).Pools[0].Members); n != len(list) {
 		t.Errorf("a snapshot with %d of the list", n)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -166,13 +166,19 @@
 
 // Rest bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
 // one, one is held for that part of its time: over many instances that comes to the same. The one unused longest gives way.
+// 0 takes the bound of that one back.
 func (p *Pool) Rest(who string, n float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.rest == nil {
 		p.rest = map[string]float64{}
 	}
-	p.rest[who] = n
+	if p.rest[who] = n; n <= 0 {
+		delete(p.rest, who)
+	}
+	if p.restMost, p.idleMost = 0, p.o.KeepAlive*2/3; len(p.rest) == 0 {
+		return
+	}
 	var sum float64
 	for _, n := range p.rest {
 		sum += n
