Take out a budget of new connections that nobody carried out; name a step's direction

Cause: subset.Budgets decided Dials and nothing read it; Set.at held a yes or no as an instant. Change and result: both gone, the package's tests pass.

--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -1,5 +1,5 @@
 // Package subset decides which endpoints an instance of a large fleet deals with, and how much of what a node has for the
-// whole fleet (idle connections, probes, new connections) is this instance's. It knows a list, this instance's place in the
+// whole fleet (idle connections, probes) is this instance's. It knows a list, this instance's place in the
 // fleet and what of the list is unwell; it knows nothing of requests, sockets or the other instances, and which member a
 // request goes to is the balancer's to decide. It is a deterministic state machine for one caller at a time.
 //
@@ -33,7 +33,6 @@
 	// What one node has for all instances together. 0 is no bound.
 	IdleConnections float64 // held at rest
 	Probes          float64 // a second
-	Dials           float64 // new connections a second
 }
 
 // Error says which setting makes no sense.
@@ -53,7 +52,7 @@
 	for _, b := range []struct {
 		key string
 		v   float64
-	}{{"idle_connections", s.IdleConnections}, {"probes", s.Probes}, {"dials", s.Dials}} {
+	}{{"idle_connections", s.IdleConnections}, {"probes", s.Probes}} {
 		if !(b.v >= 0) || math.IsInf(b.v, 0) {
 			return &Error{b.key, fmt.Sprintf("%v: must be a number from 0 on", b.v)}
 		}
@@ -92,8 +91,8 @@
 	total  float64
 	unwell map[string]bool
 	steps  int // how often the arc is doubled
-	at     Micros
-	wake   Micros // when to look again; 0 is never
+	wake   Micros // when to make the next step; 0 is never
+	wider  bool   // that step is one wider
 	member []Member
 }
 
@@ -225,7 +224,7 @@
 		} else {
 			x.wake = 0
 		}
-	case x.wake == 0 || (want > x.steps) != (x.at > 0):
+	case x.wake == 0 || (want > x.steps) != x.wider:
 		x.arm(now, want)
 	}
 	before := x.member
@@ -236,9 +235,8 @@
 // arm sets when the next step is made: spread, so that those who see the same do not all do it at once.
 func (x *Set) arm(now Micros, want int) {
 	pause := widenPause
-	x.at = 1
-	if want < x.steps {
-		pause, x.at = narrowCalm, 0
+	if x.wider = want > x.steps; !x.wider {
+		pause = narrowCalm
 	}
 	x.wake = now + max(1, pause/2+Micros(x.float()*float64(pause)))
 }
@@ -310,7 +308,6 @@
 type Budgets struct {
 	IdleConnections float64 // held at rest, over all members; below 1 none is kept for longer than that part of the time
 	Probes          float64 // a second
-	Dials           float64 // a second
 }
 
 // Budgets divides what the nodes have over the instances.
@@ -319,7 +316,7 @@
 		return Budgets{}
 	}
 	part := float64(len(x.ring)) / float64(x.s.Instances)
-	return Budgets{x.s.IdleConnections * part, x.s.Probes * part, x.s.Dials * part}
+	return Budgets{x.s.IdleConnections * part, x.s.Probes * part}
 }
 
 func (x *Set) float() float64 {
