--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -90,7 +90,7 @@
 	ring   []placed
 	total  float64
 	unwell map[string]bool
-	steps  int // how often the arc is doubled
+	steps  int    // how often the arc is doubled
 	wake   Micros // when to make the next step; 0 is never
 	wider  bool   // that step is one wider
 	member []Member
