Do not take a list held elsewhere for news: after a handover all endpoints looked cold

Traced: where the watch of the new process tells an empty change before the list of the old process is restored, the balancer counts as listed, and every endpoint of the restored list that states no start then "appeared while we watched". All are cold, and nearly all of the first traffic is refused. Excluded: breaker, limit and shares (no line in the log, windows full of successes).

Change: what a cached list names has not just appeared, in the balancer and in the subset's own table.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -242,7 +242,7 @@
 		e.seen = false
 	}
 	for i := range entries {
-		b.entry(now, &entries[i])
+		b.entry(now, &entries[i], kind)
 	}
 	b.list = slices.DeleteFunc(b.list, func(e *endpoint) bool {
 		if whole && !e.seen {
@@ -261,7 +261,7 @@
 	b.listed = b.listed || kind != ListCached || !b.s.Subscribe
 }
 
-func (b *Balancer) entry(now Micros, in *Endpoint) {
+func (b *Balancer) entry(now Micros, in *Endpoint, kind ListKind) {
 	e := b.byID[in.ID]
 	fresh := e == nil
 	if fresh {
@@ -277,8 +277,8 @@
 		b.pool = slices.DeleteFunc(b.pool, func(o *endpoint) bool { return o == e })
 	}
 	started := in.StartTime
-	if started == 0 && fresh && b.listed {
-		started = now // it appeared while we watched
+	if started == 0 && fresh && b.listed && kind != ListCached {
+		started = now // it appeared while we watched; what an older list names was there before
 	}
 	e.Endpoint, e.seen = *in, true
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -235,3 +235,25 @@
 		}
 	}
 }
+
+// A change that is told before the list that another balancer held must not make endpoints of that list look as if they
+// had just come up: all of them cold, the first seconds after a handover would be refused.
+func TestListHeldElsewhereIsNotNew(t *testing.T) {
+	s := testSettings()
+	s.Subscribe = false
+	r := &recorder{}
+	b, err := New(s, 1, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.Members(second, ListDelta, nil)
+	b.Members(second, ListCached, ready(2))
+	late := ready(3)[2:]
+	b.Members(second, ListDelta, late)
+	for _, e := range b.list {
+		if want := e.ID == late[0].ID; e.cold(second, b) != want {
+			t.Errorf("endpoint %d cold: %v, want %v", e.ID, !want, want)
+		}
+	}
+}
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -468,8 +468,8 @@
 			if known != tc.taken {
 				t.Errorf("known afterwards: %v, want %v", known, tc.taken)
 			}
-			if resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
-				t.Errorf("it answers %s", resp.Status)
+			if resp, body := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+				t.Errorf("it answers %s: %s", resp.Status, body)
 			}
 		})
 	}
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -59,7 +59,7 @@
 			// back that is not so: it started when it was first told.
 			if old, ok := before[m.Name]; ok {
 				m.Started = old.Started
-			} else if m.Started = 1; n.listed {
+			} else if m.Started = 1; n.listed && told.Kind != balancer.ListCached {
 				m.Started = now
 			}
 		}
