Bound cold endpoints by what the fleet serves while most of it is cold; count a fleet's logs

Counted now from the instances' own logs (ROUTER_EVENTS=1, dunlinbench fleet): failures are 0.9 to 1.3% of the attempts, a bad endpoint is met by 6 to 15 of 80 instances two or three times each, no endpoint holds more than 61 connections of 400. So these are not the loss.

A cold endpoint's part followed what is asked for over what the list says there is; after a power cut the one is six times what can be done, and the other grows from one endpoint.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -161,6 +161,7 @@
 	}
 	if e.cold(now, b) {
 		e.room -= r.work * coldCharge
+		e.share -= r.work
 	}
 	expected := b.predict(now, e, r.work)
 	r.attempts = append(r.attempts, attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now,
@@ -284,6 +285,7 @@
 	if started != 0 && now-started < b.s.Contract.RampTime && (fresh || restarted) {
 		// A random part of a request's room: with many quiet balancers none would ever save up a whole one.
 		e.isCold, e.coldFrom, e.room, e.roomAt = true, min(started, now), b.rng.float()*b.work.v*coldCharge, now
+		e.share, e.shareAt = e.room/coldCharge, b.served
 	}
 }
 
@@ -294,6 +296,15 @@
 	coldShare  = 0.4 // of the multiple at which it falls over
 	coldCharge = 1.15
 	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
+
+	// While most of what there is is cold, as after a power cut, what is asked for says nothing of what an
+	// endpoint can take; less still while most of the list is not told yet. What the fleet gets served is no
+	// more than its endpoints can do, however many ask. So each balancer keeps what it gives a cold endpoint
+	// within a multiple of what it got served itself for each warm endpoint's worth of what there was, times the
+	// warmth: the sum is at most that multiple of what the endpoint can do. It grows by that with each answer.
+	coldMost  = 0.75 // of the multiple at which it falls over
+	coldFirst = 0.25 // of what it can do, for all balancers together, comes without that: there they begin
+	coldSaved = 4    // requests that may be saved up of it
 )
 
 // coldRoom refills the token bucket of a cold endpoint and says whether a
@@ -307,19 +318,23 @@
 	fill := min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * rate / max(1, strength)
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
-	e.roomAt = now
-	return e.room >= work*coldCharge
+	first := coldFirst * e.warmth(now, b) * cores / float64(b.s.Balancers) * float64(now-e.roomAt)
+	e.share += coldMost*b.s.Contract.FallMultiple*e.warmth(now, b)*(b.served-e.shareAt) + first
+	e.share = min(e.share, max(most, coldSaved*work*coldCharge))
+	e.roomAt, e.shareAt = now, b.served
+	return e.room >= work*coldCharge && (2*strength >= b.ready || e.share >= work)
 }
 
 // strength is what all ready endpoints can do, in warm ones. Were only the warm ones counted, a deploy that
 // leaves few of them would seem to leave a large part of the traffic for each cold one.
 func (b *Balancer) strength(now Micros) float64 {
 	if now >= b.strongAt {
-		b.strong, b.warm, b.strongAt, b.colds = 0, 0, now+second/10, b.colds[:0]
+		b.strong, b.warm, b.ready, b.strongAt, b.colds = 0, 0, 0, now+second/10, b.colds[:0]
 		for _, e := range b.list {
 			if e.State == Ready {
 				b.strong += e.warmth(now, b)
 				b.warm += share(!e.isCold)
+				b.ready++
 				if e.isCold {
 					b.colds = append(b.colds, e)
 				}
@@ -936,6 +951,7 @@
 	e := a.ep
 	switch status {
 	case OK:
+		b.served += r.work / max(b.s.Contract.ColdFrom, b.strength(now))
 		e.br.count(now, 1, 0)
 		e.br.latency(float64(latency))
 		e.whole = ill{}
--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -37,7 +37,8 @@
 
 	Cold    bool
 	ColdAge Micros  // since its warm-up began
-	Room    float64 // work that it may still get while cold
+	Room    float64 // work that it may still get while cold: as is asked for,
+	Share   float64 // and as is served
 
 	Whole Ejection
 	Parts []Ejection // of each class, then of each tenant
@@ -93,7 +94,7 @@
 			Cold: e.cold(now, b), Whole: e.whole.learned(now), Base: e.br.base, Current: e.br.current}
 		if to.Cold {
 			b.coldRoom(now, e, b.work.v)
-			to.ColdAge, to.Room = now-e.coldFrom, e.room
+			to.ColdAge, to.Room, to.Share = now-e.coldFrom, e.room, e.share
 		}
 		for i := range e.ills {
 			to.Parts = append(to.Parts, e.ills[i].learned(now))
@@ -148,6 +149,7 @@
 	for i := range l.Endpoints {
 		if e := b.byID[l.Endpoints[i].ID]; e != nil && e.StartTime == l.Endpoints[i].Start {
 			e.restore(now, age, &l.Endpoints[i], len(b.classes)+len(b.tenants))
+			e.shareAt = b.served
 		}
 	}
 	b.strongAt = now
@@ -167,7 +169,7 @@
 		if e.isCold {
 			from = max(from, e.coldFrom)
 		}
-		e.isCold, e.coldFrom, e.room, e.roomAt = true, min(from, now), sane(l.Room), now
+		e.isCold, e.coldFrom, e.room, e.roomAt, e.share = true, min(from, now), sane(l.Room), now, sane(l.Share)
 	}
 	e.br = breaker{base: sane(l.Base), current: sane(l.Current)}
 	if len(l.Window) != buckets {
@@ -193,7 +195,7 @@
 	b.handed = yes
 	for _, e := range b.list {
 		if e.isCold {
-			e.room, e.roomAt = 0, now
+			e.room, e.roomAt, e.share, e.shareAt = 0, now, 0, b.served
 		}
 	}
 }
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -37,10 +37,12 @@
 	work     ewma        // mean work of a request
 	strong   float64     // what the ready endpoints can do, in warm ones
 	warm     float64     // of them warm
+	ready    float64     // how many they are
 	colds    []*endpoint // of them cold
 	strongAt Micros      // when to count that again
 	refused  ewma        // share of requests refused at arrival
 	credit   float64     // retry budget, in attempts
+	served   float64     // work served since the start, for each warm endpoint's worth of what there was
 
 	watched, renewed float64 // time over which reports were watched, and how often they changed
 	due              float64 // probes that the pace has let come due
@@ -105,6 +107,8 @@
 	coldFrom Micros  // start of its warm-up
 	room     float64 // work that it may still get while cold
 	roomAt   Micros
+	share    float64 // work that it may still get of what the fleet is known to do (coldMost)
+	shareAt  float64 // what was served when that was counted
 
 	inflight  int    // own attempts without outcome
 	sentAt    Micros // latest own send
--- a/cmd/dunlinbench/main.go
+++ b/cmd/dunlinbench/main.go
@@ -26,6 +26,7 @@
   pools      a pool's p99 beside one that fails, and arrivals there with a retry budget and without
   versions   from a version's sending to its being applied, and what it costs on the request path, beside none
   transport  size, memory and processor time of two ways to get versions: xDS, and JSON over HTTP
+  fleet      what a fleet did at its endpoints and at discovery, from a folder of its instances' logs (ROUTER_EVENTS=1)
   stream     throughput of large bodies and memory of each stream: daemon beside ReverseProxy
 
 dunlinbench MEASUREMENT -h tells a measurement's flags.
@@ -97,6 +98,10 @@
 		rounds := flags.Int("rounds", 3, "rounds")
 		flags.Parse(args)
 		return bench.Pools(ctx, os.Stdout, bin, *rate, *each, *rounds)
+	case "fleet":
+		logs := flags.String("logs", "", "folder with a file for each instance, what it wrote to standard error")
+		flags.Parse(args)
+		return bench.Fleet(os.Stdout, *logs)
 	case "stream":
 		size := flags.Int("mib", 1024, "size of a body in MiB")
 		streams := flags.Int("streams", 100, "streams at once, for their memory")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,6 +71,7 @@
 	Sharing  engine.Sharing
 	Upstream Upstream
 	Log      *slog.Logger
+	Observe  engine.Observer // nil is nobody
 }
 
 // Core runs an engine. Make one with New, give it pools, and run it. The engine belongs to the goroutine in Run; all
@@ -90,7 +91,7 @@
 // New returns a core without pools.
 func New(c Config) *Core {
 	x := &Core{config: c, events: make(chan func(balancer.Micros), 256), over: make(chan struct{}), isReady: make(chan struct{})}
-	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Sharing: c.Sharing, Host: (*host)(x)})
+	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Sharing: c.Sharing, Host: (*host)(x), Observe: c.Observe})
 	return x
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -85,6 +85,8 @@
 // Watcher holds a watch at one discovery and tells of each line.
 type Watcher struct {
 	Mute time.Duration // a watch that says nothing for so long is asked for again
+	// Asked is told of each call and what came of it; nil is nobody.
+	Asked func(err error)
 
 	addr     string
 	client   *http.Client
@@ -204,6 +206,14 @@
 
 // get asks discovery for its list.
 func (w *Watcher) get(ctx context.Context, query string) (*http.Response, error) {
+	resp, err := w.call(ctx, query)
+	if w.Asked != nil {
+		w.Asked(err)
+	}
+	return resp, err
+}
+
+func (w *Watcher) call(ctx context.Context, query string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/api/targets"+query, nil)
 	if err != nil {
 		return nil, err
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -34,6 +34,9 @@
 		return
 	}
 	a.timeUp = x.at(a.Deadline, func(now Micros) { x.timeUp(now, a) })
+	if o := x.config.Observe; o != nil {
+		o.Sent(now, e.Name)
+	}
 	x.config.Host.Start(a)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,17 @@
 	Drop()
 }
 
+// Observer is told what an engine does, for counting over a fleet. Its methods must not wait, and must not call the engine.
+type Observer interface {
+	// Sent tells that an attempt started at an endpoint.
+	Sent(now Micros, endpoint string)
+	// Ended tells an attempt's outcome, Probed a probe's.
+	Ended(now Micros, endpoint string, s balancer.Status, latency Micros)
+	Probed(now Micros, endpoint string, s balancer.Status, latency Micros)
+	// Told tells news of the list, as the pool was told.
+	Told(now Micros, t Told)
+}
+
 // Reply is what came of an attempt or a probe.
 type Reply struct {
 	Status balancer.Status
@@ -132,6 +143,7 @@
 	Seed    uint64
 	Sharing Sharing
 	Host    Host
+	Observe Observer // nil is nobody
 }
 
 // Engine decides. Make one with New, and give it pools.
@@ -241,6 +253,9 @@
 // Probed tells what came of a probe that was sent at an instant.
 func (x *Engine) Probed(now Micros, p *Pool, e *Endpoint, sent Micros, r Reply) {
 	x.now = now
+	if o := x.config.Observe; o != nil {
+		o.Probed(now, e.Name, r.Status, max(0, r.At-sent))
+	}
 	p.balancer.Probed(now, e.Number, r.Status, max(0, r.At-sent), r.Load)
 	x.pump(now)
 }
@@ -270,6 +285,9 @@
 	settled := c.ended
 	x.forget(c)
 	c.Pool.heard(now, a.Endpoint, r.Status)
+	if o := x.config.Observe; o != nil {
+		o.Ended(now, a.Endpoint.Name, r.Status, max(0, r.At-a.Sent))
+	}
 	c.Pool.balancer.Outcome(now, balancer.Outcome{ID: c.In.ID, Attempt: a.Number, Endpoint: a.Endpoint.Number,
 		Status: r.Status, Latency: max(0, r.At-a.Sent), Settled: settled, Load: r.Load})
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -197,6 +197,9 @@
 		return
 	}
 	p.generation = told.Generation
+	if o := p.engine.config.Observe; o != nil {
+		o.Told(now, told)
+	}
 	if p.narrowed != nil {
 		told = p.narrowed.take(now, told)
 		defer p.setAlarm()
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,178 @@
+// Package events writes down what one instance does at its endpoints and at discovery, a line each, and counts the lines of
+// a whole fleet: what is harmless in one instance may not be in eighty. It decides nothing, and may not know protocols or
+// sockets. events.go holds the lines, count.go what is counted of them, report.go how that is told.
+package events
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/engine"
+)
+
+// Kind says what happened.
+type Kind string
+
+// The kinds of event.
+const (
+	Sent   Kind = "sent"   // an attempt started
+	Ended  Kind = "ended"  // and had an outcome
+	Probed Kind = "probed" // a probe had an outcome
+	Told   Kind = "told"   // news of an endpoint came
+	Dialed Kind = "dialed" // a connection to an endpoint was opened, or was not
+	Closed Kind = "closed" // and closed
+	Asked  Kind = "asked"  // discovery was called
+)
+
+// Event is what happened at one instance.
+type Event struct {
+	At       balancer.Micros // by the instance's clock
+	Kind     Kind
+	Endpoint string // its name; its address for Dialed and Closed; "" for Asked
+	Addr     string // of Told
+	Status   string // of Ended and Probed, by balancer.Status; of Told, the state; of Dialed and Asked, "ok" or "failed"
+	Latency  balancer.Micros
+}
+
+const mark = "event "
+
+// String is the event's line without its end. What reads it needs no quoting: names with blanks are written with "_".
+func (e Event) String() string {
+	word := func(s string) string {
+		if s == "" {
+			return "-"
+		}
+		return strings.Map(func(r rune) rune {
+			if r <= ' ' {
+				return '_'
+			}
+			return r
+		}, s)
+	}
+	return fmt.Sprintf("%s%d %s %s %s %s %d", mark, e.At, e.Kind, word(e.Endpoint), word(e.Addr), word(e.Status), e.Latency)
+}
+
+// Parse reads a line. What stands before the event, as a time that a collector of logs puts there, is passed over; ok says
+// whether there is an event, and err what is wrong with it.
+func Parse(line string) (e Event, ok bool, err error) {
+	at := strings.Index(line, mark)
+	if at < 0 {
+		return e, false, nil
+	}
+	f := strings.Fields(line[at+len(mark):])
+	if len(f) != 6 {
+		return e, true, fmt.Errorf("%d words after %q, want 6", len(f), strings.TrimSpace(mark))
+	}
+	if e.At, err = strconv.ParseInt(f[0], 10, 64); err != nil {
+		return e, true, err
+	}
+	if e.Latency, err = strconv.ParseInt(f[5], 10, 64); err != nil {
+		return e, true, err
+	}
+	e.Kind = Kind(f[1])
+	for i, to := range []*string{&e.Endpoint, &e.Addr, &e.Status} {
+		if *to = f[2+i]; *to == "-" {
+			*to = ""
+		}
+	}
+	return e, true, nil
+}
+
+// Read reads an instance's log, in which events stand among other lines. An error names the line.
+func Read(r io.Reader) (all []Event, err error) {
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, 1<<20)
+	for n := 1; in.Scan(); n++ {
+		e, ok, err := Parse(in.Text())
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		if ok {
+			all = append(all, e)
+		}
+	}
+	return all, in.Err()
+}
+
+// Log writes events. It is engine.Observer and is told of connections and calls of discovery beside that. Its methods may
+// be called side by side.
+type Log struct {
+	now func() balancer.Micros
+	mu  sync.Mutex
+	to  io.Writer
+}
+
+// NewLog returns a log that writes to a writer, with instants by a clock. What cannot be written is lost.
+func NewLog(to io.Writer, now func() balancer.Micros) *Log { return &Log{now: now, to: to} }
+
+func (l *Log) write(e Event) {
+	if e.At == 0 {
+		e.At = l.now()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintln(l.to, e)
+}
+
+var statuses = [...]string{balancer.OK: "ok", balancer.Error: "error", balancer.Full: "full", balancer.Timeout: "timeout",
+	balancer.ConnectFailed: "connect", balancer.Reset: "reset", balancer.Cancelled: "cancelled", balancer.Moot: "moot"}
+
+var states = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
+
+// Sent notes that an attempt started.
+func (l *Log) Sent(now balancer.Micros, endpoint string) {
+	l.write(Event{At: now, Kind: Sent, Endpoint: endpoint})
+}
+
+// Ended notes an attempt's outcome.
+func (l *Log) Ended(now balancer.Micros, endpoint string, s balancer.Status, latency balancer.Micros) {
+	l.write(Event{At: now, Kind: Ended, Endpoint: endpoint, Status: statuses[s], Latency: latency})
+}
+
+// Probed notes a probe's outcome.
+func (l *Log) Probed(now balancer.Micros, endpoint string, s balancer.Status, latency balancer.Micros) {
+	l.write(Event{At: now, Kind: Probed, Endpoint: endpoint, Status: statuses[s], Latency: latency})
+}
+
+// Told notes news of the list, an event for each entry. What a whole list leaves out is the reader's to see.
+func (l *Log) Told(now balancer.Micros, t engine.Told) {
+	for _, m := range t.Members {
+		l.write(Event{At: now, Kind: Told, Endpoint: m.Name, Addr: m.Addr, Status: states[m.State]})
+	}
+}
+
+// Asked notes a call of discovery.
+func (l *Log) Asked(err error) { l.write(Event{Kind: Asked, Status: okIf(err == nil)}) }
+
+func okIf(yes bool) string {
+	if yes {
+		return "ok"
+	}
+	return "failed"
+}
+
+// Dialed notes a connection that was opened to an address, or was not, and returns it such that its close is noted.
+func (l *Log) Dialed(addr string, c net.Conn, err error) (net.Conn, error) {
+	l.write(Event{Kind: Dialed, Endpoint: addr, Status: okIf(err == nil)})
+	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
+		return &conn{TCPConn: tcp, closed: sync.OnceFunc(func() { l.write(Event{Kind: Closed, Endpoint: addr}) })}, nil
+	}
+	return c, err
+}
+
+// conn is a connection whose close is noted.
+type conn struct {
+	*net.TCPConn
+	closed func()
+}
+
+func (c *conn) Close() error {
+	c.closed()
+	return c.TCPConn.Close()
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -34,6 +34,7 @@
 	Site      site.Site
 
 	FileDiscovery string // as the file alone names it
+	Events        bool   // what is done at endpoints and at discovery goes to standard error (package events)
 }
 
 // ConfigError names the part of the configuration that makes no sense.
@@ -103,6 +104,13 @@
 			*to = v
 		}
 	}
+	switch v := getenv("ROUTER_EVENTS"); v {
+	case "", "0":
+	case "1":
+		c.Events = true
+	default:
+		return nil, &ConfigError{"ROUTER_EVENTS", fmt.Errorf("%q is neither 0 nor 1", v)}
+	}
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
 		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/events"
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/upstream"
@@ -75,6 +76,7 @@
 	source *discovery.Source
 	front  *http1.Front
 	client *http1.Client // the application
+	events *events.Log   // nil where they are not asked for
 
 	endpoints *core.Pool
 }
@@ -85,6 +87,19 @@
 	log *slog.Logger) (*sidecar, error) {
 	clk := clock.New()
 	s := &sidecar{config: c, log: log}
+	var observe engine.Observer
+	if c.Events {
+		s.events = events.NewLog(os.Stderr, clk.Now)
+		observe = s.events
+		if dial == nil {
+			dial = (&net.Dialer{Timeout: clock.Duration(c.Site.Settings.Limits.DialTimeout)}).DialContext
+		}
+		inner := dial
+		dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := inner(ctx, network, addr)
+			return s.events.Dialed(addr, conn, err)
+		}
+	}
 	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(c.Sockets),
 		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive,
 		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
@@ -95,7 +110,7 @@
 		s.source = discovery.Keep(w)
 	}
 	var err error
-	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log})
+	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observe: observe})
 	s.endpoints, err = s.core.NewPool(engine.PoolConfig{Known: c.Known.Told(), Watch: s.source.Watch})
 	if err != nil {
 		return nil, err
@@ -114,7 +129,11 @@
 
 // watcher returns a watcher of a discovery that tells the core.
 func (s *sidecar) watcher(addr string, after int64) *discovery.Watcher {
-	return discovery.NewWatcher(addr, after, s.config.MemoryMB, s.tell, s.log)
+	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.tell, s.log)
+	if s.events != nil {
+		w.Asked = s.events.Asked
+	}
+	return w
 }
 
 func (s *sidecar) tell(ctx context.Context, t engine.Told) { s.endpoints.Members(ctx, t) }
