Hold a pool's retry budget within any second instead of letting ten tries be saved up

Its test had 100 requests arrive as 115 with a budget of 0.1: a pool begins with credit for ten tries, and saves as many again when all is well.

Change: a pool with a budget of its own counts requests and further tries of the last second; nothing is saved up. retry_least (1 a second without the key, as linkerd's budgets have it) lets a pool that is seldom asked try again at all. Pools without a key, the platform's sidecar among them, keep the credit as it was.

Balancer's test: 70 to 100 further tries in any second at 1,000 requests a second, after a quiet minute too.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -119,6 +119,11 @@
 	WorthByWork    bool    // worth counts per unit of work, not per request
 	RetryShare     float64 // further attempts, as a part of the requests; 0 is RetryShare
 
+	// RetryWithin has that part hold over any stretch of this length (microseconds), where RetryLeast further attempts a
+	// second are let go in any case: a quiet balancer's part would be less than one. 0 lets what was not used be saved up.
+	RetryWithin Micros
+	RetryLeast  float64
+
 	// Strict has a keyed request that may have run fail and never be refused, also where all endpoints drop repeats of
 	// its key: the client may come back when they have forgotten it.
 	Strict bool
@@ -168,6 +173,8 @@
 	}
 	check(s.OverShareWorth >= 0, "OverShareWorth", s.OverShareWorth, "must not be negative")
 	check(s.RetryShare >= 0 && s.RetryShare <= 10, "RetryShare", s.RetryShare, "must be in 0..10")
+	check(s.RetryWithin >= 0, "RetryWithin", s.RetryWithin, "must not be negative")
+	check(s.RetryLeast >= 0 && s.RetryLeast <= 1e6, "RetryLeast", s.RetryLeast, "must be in 0..1000000")
 	l, c, p := &s.Limits, &s.Contract, &s.Prices
 	check(l.MaxAttempts >= 1, "Limits.MaxAttempts", l.MaxAttempts, "must be at least 1")
 	check(l.MaxOpen >= 1, "Limits.MaxOpen", l.MaxOpen, "must be at least 1")
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,6 +39,7 @@
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
 		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
 	}
+	b.lately.ring, b.again.ring = make([]int, withinParts), make([]int, withinParts+1)
 	for i := range b.classes {
 		b.classes[i].work = ewma{v: float64(s.Classes[i].Aim) / 5, n: settled}
 		b.classes[i].good = ewma{v: 1, n: settled}
@@ -188,7 +189,7 @@
 func (b *Balancer) patience(now Micros, r *request, expected float64) Micros {
 	c := b.class(r)
 	wait := max(waitMost*expected, float64(c.Aim)/waitLeast)
-	if c.Repeat != Safe || len(r.attempts) >= b.most(r) || b.credit < 1 ||
+	if c.Repeat != Safe || len(r.attempts) >= b.most(r) || !b.mayRetry(now) ||
 		float64(now-r.arrived)+wait+expected > float64(c.Aim) {
 		return 0
 	}
@@ -741,6 +742,7 @@
 
 const (
 	budgetBurst = 10.0 // retries saved up at most
+	withinParts = 10   // of the time over which a budget holds that saves nothing up
 	trustWeight = 0.005
 	trendWeight = 0.1
 	trendStep   = 4.0 // one outcome counts as no more than this many times the prediction
@@ -768,6 +770,7 @@
 	r := b.newRequest(now, in)
 	b.demand.add(now, 1)
 	b.credit = min(budgetBurst, b.credit+b.s.RetryShare)
+	b.lately.add(b.part(now))
 	c := &b.classes[in.Class]
 	c.asked.add(now, 1)
 	if int(in.Tenant) < len(b.tenants) {
@@ -939,13 +942,27 @@
 		return
 	}
 	// What proves that it never ran is paid for, too: where most endpoints are full, free retries are a storm.
-	if b.credit >= 1 && b.attempt(now, r, false) {
+	if b.mayRetry(now) && b.attempt(now, r, false) {
 		b.credit--
+		b.again.add(b.part(now))
 		return
 	}
 	b.refuse(now, r)
 }
 
+// mayRetry says whether the budget of further attempts has one left.
+func (b *Balancer) mayRetry(now Micros) bool {
+	if b.s.RetryWithin == 0 {
+		return b.credit >= 1
+	}
+	least := b.s.RetryLeast * float64(b.s.RetryWithin) / float64(second)
+	earned := b.s.RetryShare * float64(b.lately.slide(b.part(now)))
+	return float64(b.again.slide(b.part(now))+1) <= max(least, earned)
+}
+
+// part numbers the parts of RetryWithin.
+func (b *Balancer) part(now Micros) int64 { return now / max(1, b.s.RetryWithin/withinParts) }
+
 // record feeds an outcome to the averages.
 func (b *Balancer) record(now Micros, r *request, a *attempt, status Status, latency Micros) {
 	e := a.ep
@@ -976,9 +993,9 @@
 // endpoint may fail one part, or limit it, and serve the others.
 func (b *Balancer) parts(r *request) []int {
 	if t := int(r.Tenant); t < len(b.tenants) {
-		return append(b.part[:0], int(r.Class), len(b.classes)+t)
+		return append(b.two[:0], int(r.Class), len(b.classes)+t)
 	}
-	return append(b.part[:0], int(r.Class))
+	return append(b.two[:0], int(r.Class))
 }
 
 // fails counts a failure of a part, or of any for -1, and ejects the endpoint for it after a few in a row.
--- a/balancer/retries_test.go
+++ b/balancer/retries_test.go
@@ -45,6 +45,44 @@
 	}
 }
 
+// A budget that saves nothing up holds from the first request on and over any second in which requests come evenly, after a
+// quiet minute too. A quiet balancer has the least that is stated, and no more.
+func TestRetryShareOfASecond(t *testing.T) {
+	for _, c := range []struct {
+		rate, share, least float64
+		least1, most1      float64 // further tries in any second
+	}{{1000, 0.1, 0, 70, 100}, {1000, 0.1, 20, 70, 100}, {20, 0.1, 0, 1, 2}, {2, 0.1, 1, 1, 1}, {2, 0.1, 0, 0, 0}, {2, 0.1, 3, 2, 3}} {
+		s := testSettings()
+		s.RetryShare, s.RetryLeast, s.RetryWithin = c.share, c.least, second
+		b, r := start(t, s, ready(200))
+		var again []Micros
+		id := uint64(0)
+		for _, from := range []Micros{0, 60 * second} {
+			for now := from; now < from+5*second; now += Micros(float64(second) / c.rate) {
+				id++
+				n := len(r.sends)
+				b.Request(now, request0(id, 0, now))
+				for i := n; i < len(r.sends); i++ {
+					if i > n {
+						again = append(again, now)
+					}
+					b.Outcome(now, Outcome{ID: id, Attempt: i - n, Endpoint: r.sends[i].endpoint, Status: Error, Latency: 100})
+				}
+			}
+		}
+		most, from := 0, 0
+		for i, at := range again {
+			for again[from] <= at-second {
+				from++
+			}
+			most = max(most, i-from+1)
+		}
+		if float64(most) > c.most1 || float64(most) < c.least1 {
+			t.Errorf("%+v: %d further tries in the worst second", c, most)
+		}
+	}
+}
+
 // With Strict a keyed request that may have run is never refused.
 func TestStrict(t *testing.T) {
 	for _, strict := range []bool{false, true} {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -41,7 +41,9 @@
 	colds    []*endpoint // of them cold
 	strongAt Micros      // when to count that again
 	refused  ewma        // share of requests refused at arrival
-	credit   float64     // retry budget, in attempts
+	credit   float64     // retry budget, in attempts, where it may be saved up
+	lately   count       // requests within RetryWithin, a part of it less at most
+	again    count       // further attempts within it, a part of it more at most
 	served   float64     // work served since the start, for each warm endpoint's worth of what there was
 
 	watched, renewed float64 // time over which reports were watched, and how often they changed
@@ -58,7 +60,7 @@
 	trust       float64 // power of a hint that work grows with
 	trend       float64 // latencies over those predicted, for all endpoints together
 
-	part   [2]int            // room for what parts returns
+	two    [2]int            // room for what parts returns
 	logged map[string]Micros // last line by topic
 }
 
@@ -318,6 +320,34 @@
 	return m.decayed(now) * float64(second) / float64(meterSpan)
 }
 
+// count is how many there were in the latest parts of time.
+type count struct {
+	ring []int
+	sum  int
+	head int64 // number of the newest part
+}
+
+// slide lets go of what is older, and returns how many are left.
+func (k *count) slide(part int64) int {
+	if part-k.head >= int64(len(k.ring)) {
+		clear(k.ring)
+		k.sum, k.head = 0, part
+	}
+	for k.head < part {
+		k.head++
+		old := &k.ring[k.head%int64(len(k.ring))]
+		k.sum -= *old
+		*old = 0
+	}
+	return k.sum
+}
+
+func (k *count) add(part int64) {
+	k.slide(part)
+	k.ring[part%int64(len(k.ring))]++
+	k.sum++
+}
+
 // source is a SplitMix64 generator.
 type source uint64
 
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -21,6 +21,25 @@
 	File        string    `toml:"file"`      // in discovery's form; it is read again when it changes
 	Discovery   string    `toml:"discovery"` // host:port of a discovery
 	RetryBudget float64   `toml:"retry_budget"`
+	RetryLeast  *float64  `toml:"retry_least"` // a second; nil where the key is missing
+}
+
+// RetryWithin is the time over which the pool's budget of further tries holds, with nothing saved up; 0 where the pool has
+// no budget of its own.
+func (p *Pool) RetryWithin() time.Duration {
+	if p.RetryBudget == 0 && p.RetryLeast == nil {
+		return 0
+	}
+	return time.Second
+}
+
+// Least is how many further tries a second are let go whatever the budget: one without the key, as a pool that is seldom
+// asked would have none.
+func (p *Pool) Least() float64 {
+	if p.RetryLeast == nil {
+		return 1
+	}
+	return *p.RetryLeast
 }
 
 // Source tells in words where a pool has its list from.
@@ -166,6 +185,7 @@
 		}
 		k.That(p.Discovery == "" || hostPort(p.Discovery, 1), at("discovery"), "%q is no host:port with a port in 1..65535", p.Discovery)
 		k.That(p.RetryBudget >= 0 && p.RetryBudget <= 10, at("retry_budget"), "%v: must be in 0..10", p.RetryBudget)
+		k.That(p.Least() >= 0 && p.Least() <= 1000, at("retry_least"), "%v: must be in 0..1000", p.Least())
 	}
 	k.That(len(c.Pools) == 0 || len(c.Routes) > 0, "pool", "no route leads to a pool: there is no table [[route]]")
 	if len(c.Routes) == 0 {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/route"
@@ -36,7 +37,8 @@
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
 	p := &pool{conf: conf}
 	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), Known: engine.Told{Generation: discovery.Unlisted},
-		RetryShare: conf.RetryBudget, Subset: d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
+		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
+		Subset: d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
 		c.Listed = true
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -563,8 +563,8 @@
 		}
 		return n
 	}
-	with, without := arrivals("retry_budget = 0.1"), arrivals("retry_budget = 10.0")
-	if with > requests+requests/10+10 {
+	with, without := arrivals("retry_budget = 0.1\nretry_least = 0.0"), arrivals("retry_budget = 10.0")
+	if with > requests+requests/10 {
 		t.Errorf("%d requests arrived as %d with a budget of a tenth", requests, with)
 	}
 	if without < with+requests/10 {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -22,7 +22,9 @@
 	Subset *subset.Settings // the instance deals with a part of the list only; nil is with all
 	Rest   func(n float64)  // told how many idle connections the pool may hold, with Subset; may be nil; must not wait
 
-	RetryShare float64 // retries at its endpoints, as a part of their requests; 0 is the site's
+	RetryShare  float64 // retries at its endpoints, as a part of their requests; 0 is the site's
+	RetryWithin Micros  // as balancer.Settings has it
+	RetryLeast  float64
 }
 
 // Pool is a set of endpoints with a balancer, and with places for requests in flight, of its own. Its fields belong
@@ -74,6 +76,7 @@
 	if c.RetryShare > 0 {
 		settings.RetryShare = c.RetryShare
 	}
+	settings.RetryWithin, settings.RetryLeast = c.RetryWithin, c.RetryLeast
 	var err error
 	if p.balancer, err = balancer.New(settings, seed, actions{x, p}); err != nil {
 		return nil, err
