--- a/cmd/dunlinbench/main.go
+++ b/cmd/dunlinbench/main.go
@@ -3,15 +3,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"dunlinsail/internal/bench"
+	"dunlinsail/internal/bench/quietfleet"
 )
 
 const usage = `usage: dunlinbench MEASUREMENT [flags]
@@ -27,6 +31,7 @@
   versions   from a version's sending to its being applied, and what it costs on the request path, beside none
   transport  size, memory and processor time of two ways to get versions: xDS, and JSON over HTTP
   fleet      what a fleet did at its endpoints and at discovery, from a folder of its instances' logs (ROUTER_EVENTS=1)
+  quiet      probes, new connections and connections held at each node, by the size of a fleet of quiet instances: subsets beside none
   stream     throughput of large bodies and memory of each stream: daemon beside ReverseProxy
 
 dunlinbench MEASUREMENT -h tells a measurement's flags.
@@ -102,6 +107,32 @@
 		logs := flags.String("logs", "", "folder with a file for each instance, what it wrote to standard error")
 		flags.Parse(args)
 		return bench.Fleet(os.Stdout, *logs)
+	case "quiet":
+		sizes := flags.String("instances", "50,500,5000", "sizes of the fleet, parted by commas")
+		nodes := flags.Int("nodes", 12, "nodes")
+		rate := flags.Float64("rate", 400, "requests a second of all instances together")
+		warm := flags.Duration("warm", 12*time.Second, "time before each count: connections at rest are closed after 10 s")
+		each := flags.Duration("for", 12*time.Second, "time of each count")
+		flags.Parse(args)
+		var all []int
+		for _, text := range strings.Split(*sizes, ",") {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < 1 {
+				return fmt.Errorf("-instances: %q is no number from 1 on", text)
+			}
+			all = append(all, n)
+		}
+		return bench.Quiet(ctx, os.Stdout, all, *nodes, *rate, *warm, *each)
+	case "quiet-fleet": // a part of the measurement before, not one itself
+		var o quietfleet.Options
+		if err := json.Unmarshal([]byte(args[0]), &o); err != nil {
+			return err
+		}
+		r, err := quietfleet.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		return json.NewEncoder(os.Stdout).Encode(r)
 	case "stream":
 		size := flags.Int("mib", 1024, "size of a body in MiB")
 		streams := flags.Int("streams", 100, "streams at once, for their memory")
--- /dev/null
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -0,0 +1,149 @@
+// Package quietfleet is many instances in one process: each has an engine, a core and connections of its own as the sidecar
+// has, and takes its requests from here instead of from a front. It is for measuring what fleets cost nodes, and may not know
+// how that is measured.
+package quietfleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/core"
+	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/membership"
+	"dunlinsail/internal/site"
+	"dunlinsail/internal/upstream"
+)
+
+// Options say what a fleet is.
+type Options struct {
+	Instances int
+	Nodes     []string      // addresses
+	Rate      float64       // requests a second of all instances together
+	For       time.Duration // clients ask for so long
+
+	// As the daemon's [fleet] has them; a Subset of 0 is no subsets and no budgets.
+	Subset               int
+	NodeProbes, NodeIdle float64
+}
+
+// Result is what became of the requests.
+type Result struct {
+	Asked, Served, Refused, Failed int64
+	Short                          int64 // attempts that found no connection for want of descriptors
+}
+
+const (
+	aim    = 250 * time.Millisecond
+	giveUp = 500 * time.Millisecond
+)
+
+func settings(instances int) balancer.Settings {
+	return balancer.Settings{Balancers: instances, Zones: 1, Kinds: 1, Fields: []balancer.Field{balancer.FieldInflight, balancer.FieldQueue},
+		Classes: []balancer.Class{{Name: "look", Aim: clock.Micros(aim), GiveUp: clock.Micros(giveUp), Worth: 1}},
+		Limits: balancer.Limits{Cancel: true, Probes: true, SecondCopies: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 1000,
+			MaxRetryAfter: 1_000_000, DialTimeout: 250_000},
+		Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.2, RampTime: 20_000_000, FallMultiple: 2.5, OverloadFor: 2_000_000, AskWithin: 10_000_000},
+		Prices:   balancer.Prices{Probe: 0.002}, Goal: balancer.Goal{Whole: 1}}
+}
+
+// instance is one of them.
+type instance struct {
+	core   *core.Core
+	pool   *core.Pool
+	up     *upstream.Pool
+	client *engine.Client
+}
+
+// Run runs a fleet until its time is over and all that was asked is answered.
+func Run(ctx context.Context, o Options) (Result, error) {
+	clk := clock.New()
+	short := &atomic.Int64{}
+	log := slog.New(&shortage{Handler: slog.NewTextHandler(io.Discard, nil), n: short})
+	where := &site.Site{Settings: settings(o.Instances), Classes: []string{"look"}, Zones: []string{"a"}, Kinds: []string{""},
+		Fields: []string{"inflight", "queue"}, KeepAlive: 15 * time.Second}
+	beside, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	fleet := make([]*instance, o.Instances)
+	for i := range fleet {
+		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.Fields, DialTimeout: giveUp / 2})}
+		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
+		c := engine.PoolConfig{Known: membership.Listed(o.Nodes, "a", 0), Listed: true, Watch: func(bool) {}}
+		if o.Subset > 0 {
+			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, Least: o.Subset, Probes: o.NodeProbes, IdleConnections: o.NodeIdle}
+			c.Rest = func(n float64) { in.up.Rest("", n) }
+		}
+		var err error
+		if in.pool, err = in.core.NewPool(c); err != nil {
+			return Result{}, err
+		}
+		if in.client, err = engine.NewClient(shares.Spec{Name: "c", Weight: 1}); err != nil {
+			return Result{}, err
+		}
+		all.Go(func() { in.core.Run(beside) })
+		all.Go(func() { in.up.Keep(beside) })
+		fleet[i] = in
+	}
+	var r Result
+	var open sync.WaitGroup
+	rng := rand.New(rand.NewPCG(1, 2))
+	begin := time.Now()
+	for at := time.Duration(0); at < o.For && ctx.Err() == nil; r.Asked++ {
+		at += time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second))
+		if wait := at - time.Since(begin); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		in, id := fleet[rng.IntN(len(fleet))], fmt.Sprintf("%016x", r.Asked)
+		open.Go(func() {
+			switch in.ask(clk, id) {
+			case engine.Served:
+				atomic.AddInt64(&r.Served, 1)
+			case engine.Refused, engine.Limited:
+				atomic.AddInt64(&r.Refused, 1)
+			default:
+				atomic.AddInt64(&r.Failed, 1)
+			}
+		})
+	}
+	open.Wait()
+	r.Short = short.Load()
+	return r, ctx.Err()
+}
+
+// ask asks for one thing and waits for its answer.
+func (in *instance) ask(clk clock.Clock, id string) engine.Verdict {
+	now := clk.Now()
+	c := &core.Call{Client: in.client, Pool: in.pool, ID: id, In: balancer.Request{Deadline: now + clock.Micros(giveUp)}, Arrived: now,
+		Answer: make(chan engine.Answer, 1)}
+	m := &upstream.Message{Method: "GET", URI: "/look/" + id, Host: "fleet", Header: map[string][]string{"X-Trace-Id": {id}}}
+	c.Attempt = func(ctx context.Context, t *core.Try) engine.Reply { return in.up.Send(ctx, t, m) }
+	in.core.Submit(c)
+	return (<-c.Answer).Verdict
+}
+
+// shortage is a log that counts the lines which say that no connection could be had.
+type shortage struct {
+	slog.Handler
+	n *atomic.Int64
+}
+
+func (s *shortage) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "no connection for an attempt" {
+		s.n.Add(1)
+	}
+	return nil
+}
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -81,6 +81,13 @@
 	narrowAt   = 0.8         // and from which on, at half its length, it may be halved again
 	widenPause = second      // mean time from one widening to the next: so many at once are no herd
 	narrowCalm = 10 * second // mean time for which all must have been well before it narrows
+
+	// The load band is that of Finagle's aperture (com.twitter.finagle.loadbalancer.aperture, its default of 0.5 to 2.0): own
+	// requests in flight for each member. The halves of a wide arc hold twice as many each, so that one step does not call
+	// for the next.
+	loadLow   = 0.5
+	loadHigh  = 2.0
+	loadPause = second / 5 // mean time to a step that own load calls for: nobody else makes it for the same reason
 )
 
 // Set is the members of one instance. Make one with New.
@@ -90,9 +97,10 @@
 	ring   []placed
 	total  float64
 	unwell map[string]bool
-	steps  int    // how often the arc is doubled
-	wake   Micros // when to make the next step; 0 is never
-	wider  bool   // that step is one wider
+	steps  int     // how often the arc is doubled
+	wake   Micros  // when to make the next step; 0 is never
+	wider  bool    // that step is one wider
+	load   float64 // own requests in flight, on the mean of some seconds
 	member []Member
 }
 
@@ -199,6 +207,20 @@
 	x.look(now, false)
 }
 
+// Load tells how many requests of its own the instance has in flight, on the mean of some seconds. What makes no sense is
+// passed over.
+func (x *Set) Load(now Micros, inFlight float64) {
+	if inFlight >= 0 && !math.IsInf(inFlight, 0) {
+		x.load = inFlight
+		x.look(now, false)
+	}
+}
+
+// crowded says whether the arc, once it is doubled so often, is too short for the own load.
+func (x *Set) crowded(steps int) bool {
+	return x.load > loadHigh*float64(len(x.cut(steps))) && !x.whole(steps)
+}
+
 // Next returns when Advance has something to decide; ok says whether it ever has.
 func (x *Set) Next() (at Micros, ok bool) { return x.wake, x.wake > 0 }
 
@@ -235,18 +257,28 @@
 // arm sets when the next step is made: spread, so that those who see the same do not all do it at once.
 func (x *Set) arm(now Micros, want int) {
 	pause := widenPause
-	if x.wider = want > x.steps; !x.wider {
+	switch x.wider = want > x.steps; {
+	case !x.wider:
 		pause = narrowCalm
+	case x.crowded(x.steps):
+		pause = loadPause
 	}
 	x.wake = now + max(1, pause/2+Micros(x.float()*float64(pause)))
 }
 
-// step is the next step from here on: one wider, one narrower, or none.
+// step is the next step from here on: as much wider as the own load calls for, one wider, one narrower, or none.
 func (x *Set) step() int {
+	if x.crowded(x.steps) {
+		steps := x.steps + 1
+		for x.crowded(steps) {
+			steps++
+		}
+		return steps
+	}
 	if x.well(x.steps) < widenAt && !x.whole(x.steps) {
 		return x.steps + 1
 	}
-	if x.steps > 0 && x.well(x.steps-1) >= narrowAt {
+	if x.steps > 0 && x.well(x.steps-1) >= narrowAt && x.load < loadLow*float64(len(x.member)) {
 		return x.steps - 1
 	}
 	return x.steps
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -319,3 +319,52 @@
 		t.Error("no bound bounds")
 	}
 }
+
+// The arc follows the own load: within a second from a quiet instance to one that needs half of the list, no wider than its
+// band calls for, back when it is quiet again, and at any even load it comes to rest.
+func TestFollowsOwnLoad(t *testing.T) {
+	list := nodes(64)
+	x := set(t, 5, 4, list)
+	quiet := len(x.Members())
+	x.Load(0, 60)
+	play([]*Set{x}, 0, second)
+	if n := len(x.Members()); n < 30 || n > 40 {
+		t.Errorf("%d members a second after 60 were in flight", n)
+	}
+	x.Load(second, 0.2)
+	play([]*Set{x}, second, 300*second)
+	if n := len(x.Members()); n != quiet {
+		t.Errorf("%d members where it is quiet again, %d before", n, quiet)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		x := set(t, rapid.IntRange(0, 5000).Draw(r, "position"), rapid.IntRange(1, 12).Draw(r, "least"), nodes(rapid.IntRange(1, 64).Draw(r, "nodes")))
+		load := rapid.Float64Range(0, 300).Draw(r, "load")
+		now := Micros(0)
+		for range 3 { // from wherever the one before has left it
+			for i := range 150 { // told again and again, as an engine does
+				now += second
+				x.Load(now, load*(1+0.2*float64(i%2)))
+				x.Advance(now)
+			}
+			before := x.Widened()
+			for i := range 40 {
+				now += second
+				x.Load(now, load*(1+0.2*float64(i%2)))
+				x.Advance(now)
+				if x.Widened() != before {
+					r.Fatalf("at a load of %v it goes from %d to %d", load, before, x.Widened())
+				}
+			}
+			if n := float64(len(x.Members())); load > loadHigh*n && int(n) < len(x.ring) {
+				r.Fatalf("%v in flight over %v members of %d", load, n, len(x.ring))
+			}
+			load = rapid.Float64Range(0, 300).Draw(r, "then")
+		}
+	})
+	was := len(x.Members())
+	for _, odd := range []float64{math.NaN(), math.Inf(1), -1} {
+		if x.Load(400*second, odd); len(x.Members()) != was {
+			t.Errorf("a load of %v changed the members", odd)
+		}
+	}
+}
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -26,6 +26,7 @@
 	}
 	c.attempts = append(c.attempts, a)
 	c.open++
+	x.pool.weigh(now, 1)
 	if c.ended || e == nil || now >= a.Deadline || len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
 		if e == nil {
 			a.Endpoint = &Endpoint{Number: number, Target: nowhere{}}
@@ -43,6 +44,9 @@
 // Refuse answers a client that trying again is harmless.
 func (x actions) Refuse(id uint64, retryAfter Micros) {
 	if c := x.calls[id]; c != nil && !c.ended {
+		if len(c.attempts) == 0 {
+			x.pool.turnedAway(x.now)
+		}
 		x.finish(c, Answer{Verdict: Refused, RetryAfter: retryAfter, Reply: c.said})
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -284,7 +284,8 @@
 	}
 	settled := c.ended
 	x.forget(c)
-	c.Pool.heard(now, a.Endpoint, r.Status)
+	c.Pool.heard(now, a.Endpoint, r.Status, r.At-a.Sent)
+	c.Pool.weigh(now, -1)
 	if o := x.config.Observe; o != nil {
 		o.Ended(now, a.Endpoint.Name, r.Status, max(0, r.At-a.Sent))
 	}
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -22,12 +23,25 @@
 	probes subset.Bucket
 	rest   func(n float64)
 	first  float64 // part of a probe that the bucket begins with
+
+	open   int     // attempts without outcome
+	load   float64 // on the mean of loadSpan, with what was refused for want of room as if it had been sent (Little's law)
+	takes  float64 // how long an attempt that is served takes, on the mean
+	loadAt Micros  // when that was counted
+	toldAt Micros  // and told to the set
 }
 
 const (
 	unwellAfter = 3           // failures in a row make an endpoint unwell for the set: as many as the balancer ejects it for.
 	unwellFor   = 30 * second // It is believed for so long after the last: the balancer hardly ever asks there meanwhile
 	second      = 1_000_000
+
+	// Own load is a mean over about as long as Finagle's aperture smooths it (5 s), shorter, since an instance may turn
+	// busy within a second; and the set is told of it so often at most.
+	loadSpan = 2 * second
+	loadTold = second / 10
+
+	takesWeight = 0.05 // of one attempt in the mean of how long they take
 )
 
 func (p *Pool) narrow(s subset.Settings, seed uint64) error {
@@ -100,13 +114,17 @@
 }
 
 // heard tells the set how an attempt at an endpoint ended.
-func (p *Pool) heard(now Micros, e *Endpoint, status balancer.Status) {
+func (p *Pool) heard(now Micros, e *Endpoint, status balancer.Status, took Micros) {
 	n := p.narrowed
 	if n == nil || n.whole[e.Name].Name == "" {
 		return
 	}
 	switch status {
 	case balancer.OK:
+		if n.takes == 0 {
+			n.takes = float64(took)
+		}
+		n.takes += (float64(took) - n.takes) * takesWeight
 		if n.fails[e.Name] == 0 {
 			return
 		}
@@ -123,6 +141,34 @@
 	p.setAlarm()
 }
 
+// opened notes attempts that were started, or that ended for a negative number.
+func (n *narrowed) opened(now Micros, attempts int) {
+	n.load += (float64(n.open) - n.load) * -math.Expm1(-float64(now-n.loadAt)/float64(loadSpan))
+	n.open, n.loadAt = n.open+attempts, now
+}
+
+// turnedAway notes a request that was turned away unsent: endpoints that have no room for it hold no more than they can, and
+// what they hold would never say that the instance needs others.
+func (p *Pool) turnedAway(now Micros) {
+	if n := p.narrowed; n != nil {
+		n.load += n.takes / float64(loadSpan)
+		p.weigh(now, 0)
+	}
+}
+
+// weigh tells the set of the own load.
+func (p *Pool) weigh(now Micros, attempts int) {
+	n := p.narrowed
+	if n == nil {
+		return
+	}
+	if n.opened(now, attempts); now-n.toldAt >= loadTold {
+		n.toldAt = now
+		n.set.Load(now, n.load)
+		p.setAlarm()
+	}
+}
+
 // setAlarm has the set's next step made when it is due.
 func (p *Pool) setAlarm() {
 	n := p.narrowed
@@ -138,6 +184,8 @@
 		n.alarm = p.engine.at(at, func(now Micros) {
 			n.alarm = nil
 			n.age(now)
+			n.opened(now, 0)
+			n.set.Load(now, n.load)
 			if n.set.Advance(now) && !p.gone {
 				p.engine.config.Host.Log("subset changed", "pool", p.name, "members", len(n.set.Members()), "of", len(n.whole),
 					"widened", n.set.Widened())
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -183,3 +183,20 @@
 		t.Errorf("a snapshot with %d of the list", n)
 	}
 }
+
+// A quiet instance becomes a busy one within a second: its few endpoints are not left with all of that, and what they knew
+// of it stays with those that it keeps.
+func TestQuietInstanceTurnsBusy(t *testing.T) {
+	h, c, _ := quiet(t, 0)
+	now := h.run(c, 1_000*second, 50, second/5)
+	before, _, _ := h.p.Subset()
+	h.to = map[string]int{}
+	now = h.run(c, now, 3000, second/1500) // thirty in flight at 20 ms each
+	if members, _, _ := h.p.Subset(); members < 2*before || len(h.to) < 2*before {
+		t.Errorf("%d members, %d endpoints used, %d members before", members, len(h.to), before)
+	}
+	h.run(c, now, 300, second/5)
+	if members, _, _ := h.p.Subset(); members != before {
+		t.Errorf("%d members when it is quiet again, %d before", members, before)
+	}
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -90,6 +90,7 @@
 	waiting  int
 	working  int
 	served   int
+	probed   int
 	draining bool
 	fault    func(*http.Request) Fault
 }
@@ -164,6 +165,7 @@
 	switch r.URL.Path {
 	case "/-/healthy", "/-/load":
 		s.mu.Lock()
+		s.probed++
 		text := fmt.Sprintf("TEXT inflight=%d, queue=%d", s.working+s.waiting, s.waiting)
 		s.mu.Unlock()
 		io.WriteString(w, text)
@@ -274,6 +276,13 @@
 	s.served++
 }
 
+// Probed returns how many probes were answered.
+func (s *Server) Probed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.probed
+}
+
 // Served returns how many requests have been worked at to an end.
 func (s *Server) Served() int {
 	s.mu.Lock()
