--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,6 +54,7 @@
 	b.trend, b.trust = 1, 0.5
 	b.credit, b.round = budgetBurst, 1
 	b.due, b.roundAt = 1, now
+	b.servedAt = now - b.s.Contract.OverloadFor
 	if b.s.Subscribe {
 		// All instances of a fleet may start at once: spread their first calls.
 		b.askIn(now, 1+b.rng.below(b.askSpread()))
@@ -304,7 +305,7 @@
 	// within a multiple of what it got served itself for each warm endpoint's worth of what there was, times the
 	// warmth: the sum is at most that multiple of what the endpoint can do. It grows by that with each answer.
 	coldMost  = 0.75 // of the multiple at which it falls over
-	coldFirst = 0.25 // of what it can do, for all balancers together, comes without that: there they begin
+	coldFirst = 0.2  // of what it can do, for all balancers that are not served yet: there they begin
 	coldSaved = 4    // requests that may be saved up of it
 )
 
@@ -319,7 +320,8 @@
 	fill := min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * rate / max(1, strength)
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
-	first := coldFirst * e.warmth(now, b) * cores / float64(b.s.Balancers) * float64(now-e.roomAt)
+	since := max(e.roomAt, b.servedAt+b.s.Contract.OverloadFor) // who is served has grown beyond where it began
+	first := coldFirst * e.warmth(now, b) * cores / float64(b.s.Balancers) * float64(max(0, now-since))
 	e.share += coldMost*b.s.Contract.FallMultiple*e.warmth(now, b)*(b.served-e.shareAt) + first
 	e.share = min(e.share, max(most, coldSaved*work*coldCharge))
 	e.roomAt, e.shareAt = now, b.served
@@ -969,6 +971,7 @@
 	switch status {
 	case OK:
 		b.served += r.work / max(b.s.Contract.ColdFrom, b.strength(now))
+		b.servedAt = now
 		e.br.count(now, 1, 0)
 		e.br.latency(float64(latency))
 		e.whole = ill{}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -45,6 +45,7 @@
 	lately   count       // requests within RetryWithin, a part of it less at most
 	again    count       // further attempts within it, a part of it more at most
 	served   float64     // work served since the start, for each warm endpoint's worth of what there was
+	servedAt Micros      // the latest of it; long ago at the start
 
 	watched, renewed float64 // time over which reports were watched, and how often they changed
 	due              float64 // probes that the pace has let come due
