Let a new version of the sidecar take over under load, on the socket it inherits

Change: the sidecar goes through the daemon's state machines of a takeover (internal/decide/takeover) and its messages, met at a unix socket in TMPDIR; the listening socket is the one that ROUTER_INHERITED_FD names, checked to be one. New in the machine: a taker that is sure of its sockets goes on with less where the giver hangs, dies or speaks otherwise, and never ends for it. Words by hand go over, are told between the two while both live, and are kept in a file there. Excluded: handing the listening socket over by the giver, as the daemon does; a giver that is stuck could not.

--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -263,6 +263,11 @@
 type Taker struct {
 	Times Times
 
+	// Sure says that the taker's sockets are its own, whatever the giver does: it does not end for the giver's sake, but
+	// goes on with what it has been told so far. A giver that hangs may come to and serve beside it for a moment; what cold
+	// endpoints may get is then spent by both, unless the giver was told to stop.
+	Sure bool
+
 	state    takerState
 	gone     bool // Go came before we were ready
 	orphan   bool // the giver ended before we were ready
@@ -298,6 +303,9 @@
 			}
 			return nil
 		}
+		if t.Sure && e != Stop {
+			return t.goOn()
+		}
 		why := map[Event]string{Stop: "told to stop", Refused: "the serving process says no: " + reason,
 			Wake: fmt.Sprintf("no progress in time while %v", t)}[e]
 		t.to(failed, 0)
@@ -326,8 +334,7 @@
 				t.to(alone, 0)
 				return []Step{{Action: Accept}}
 			case t.gone:
-				t.to(prepared, 0)
-				return []Step{{Action: Take}, send(Prepared)}
+				return t.prepare(now)
 			}
 			t.to(waiting, now+t.Times.Answer)
 			return []Step{send(Ready)}
@@ -335,8 +342,7 @@
 	case waiting:
 		switch e {
 		case Go:
-			t.to(prepared, 0)
-			return []Step{{Action: Take}, send(Prepared)}
+			return t.prepare(now)
 		case Broken:
 			t.to(alone, 0)
 			return []Step{{Action: Hang}, {Action: Accept}}
@@ -362,6 +368,31 @@
 	return nil
 }
 
+// goOn is what follows where nothing more is to be had of a giver.
+func (t *Taker) goOn() []Step {
+	was := t.state
+	switch was {
+	case asking:
+		t.to(alone, 0)
+		return []Step{{Action: Hang}, {Action: Cold}}
+	case starting:
+		t.orphan = true
+		t.to(starting, 0)
+		return []Step{{Action: Hang}}
+	}
+	t.to(alone, 0)
+	return []Step{{Action: Hang}, {Action: Accept}}
+}
+
+// prepare waits for Yours. Who is not sure waits however long: only Yours or the giver's end make it accept.
+func (t *Taker) prepare(now Micros) []Step {
+	t.to(prepared, 0)
+	if t.Sure {
+		t.to(prepared, now+t.Times.Answer)
+	}
+	return []Step{{Action: Take}, send(Prepared)}
+}
+
 // Given says whether the giver may still hand connections over.
 func (t *Taker) Given() bool { return t.state == accepting }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,8 @@
 	Listen    string // where clients connect
 	Discovery string
 	Operator  string // where operators call; "" is nowhere
+	Inherited int    // the descriptor of the clients' listening socket, where the platform holds it; 0 is none
+	Meeting   string // a folder that a new version of this sidecar shares with the old one; "" is none
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -106,6 +108,13 @@
 			*to = v
 		}
 	}
+	if v := getenv("ROUTER_INHERITED_FD"); v != "" {
+		fd, err := strconv.Atoi(v)
+		if err != nil || fd < 3 {
+			return nil, &ConfigError{"ROUTER_INHERITED_FD", fmt.Errorf("%q is no descriptor from 3 on", v)}
+		}
+		c.Inherited, c.Meeting = fd, getenv("TMPDIR")
+	}
 	switch v := getenv("ROUTER_EVENTS"); v {
 	case "", "0":
 	case "1":
--- /dev/null
+++ b/internal/sidecar/course.go
@@ -0,0 +1,577 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/decide/bans"
+	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/takeover"
+)
+
+const (
+	// The platform sends SIGTERM to the old process 6 s after the new one was started at the latest. A takeover takes
+	// three answers and a start, so that one which fails in the last step still leaves time to begin with less.
+	answerTime = time.Second
+	readyTime  = 2 * time.Second
+	// drainTime bounds what is open when another process serves, or none is to: longer than any request's time, and than
+	// most answers that stream. The platform kills the process before that.
+	drainTime = 30 * time.Second
+)
+
+// meetingPlace is the socket, in the folder that two versions of a sidecar share, at which the one that serves listens for
+// the one that is to take over.
+const meetingPlace = "dunlinsail.takeover"
+
+// course is a sidecar's way from its start to its end: it takes over from the process that serves, if there is one, serves,
+// and hands over to the next. Package decide/takeover decides; this carries out. The clients' listening socket is held by
+// the platform, and both processes have it: what is handed over is who accepts on it, what was learned and the clients'
+// connections. Its fields belong to the goroutine in run; others use events.
+type course struct {
+	s      *sidecar
+	ln     net.Listener
+	events chan func()
+	over   chan struct{} // closed once no event is taken any more
+	beside sync.WaitGroup
+	wake   *time.Timer
+
+	taker decide.Taker
+	from  *takeover.Conn // the giver; nil once there is none
+	state []byte         // what came with Offer, then with Go; or, when we give, what is to go with Go
+	taken []net.Conn     // connections handed over before we accept
+
+	giver   decide.Giver
+	takeLn  *takeover.Listener
+	to      *takeover.Conn // the taker; nil while there is none
+	accepts chan error     // of the front, while it accepts
+	emptied bool           // no connection is served, and our own giver may hand some over yet
+	waiting context.CancelFunc
+
+	peers  sync.Mutex       // guards talking
+	talked []*takeover.Conn // the other processes that words by hand are told to
+
+	ended  bool
+	result error
+}
+
+func newCourse(s *sidecar, ln net.Listener) *course {
+	times := decide.Times{Ready: clock.Micros(readyTime), Answer: clock.Micros(answerTime), Drain: clock.Micros(drainTime)}
+	return &course{s: s, ln: ln, events: make(chan func()), over: make(chan struct{}),
+		taker: decide.Taker{Times: times, Sure: true}, giver: decide.Giver{Times: times}}
+}
+
+// run takes over or starts cold, serves, and ends.
+func (l *course) run(stop context.Context) error {
+	l.wake = time.AfterFunc(time.Hour, func() {
+		l.post(func() {
+			l.takerStep(decide.Wake, "")
+			l.giverStep(decide.Wake)
+		})
+	})
+	defer l.finish()
+	l.begin()
+	stopped := stop.Done()
+	for !l.ended {
+		l.arm()
+		select {
+		case event := <-l.events:
+			event()
+		case err := <-l.accepts:
+			l.accepts = nil
+			if err != nil {
+				l.end(fmt.Errorf("serve: %w", err))
+			}
+		case <-stopped:
+			stopped = nil
+			if l.takerStep(decide.Stop, ""); !l.ended {
+				l.giverStep(decide.Stop)
+			}
+		}
+	}
+	return l.result
+}
+
+func (l *course) finish() {
+	close(l.over)
+	l.wake.Stop()
+	if l.waiting != nil {
+		l.waiting()
+	}
+	if l.takeLn != nil {
+		l.takeLn.Close()
+	}
+	l.ln.Close()
+	for _, c := range []*takeover.Conn{l.from, l.to} {
+		if c != nil {
+			c.Close()
+		}
+	}
+	for _, nc := range l.taken {
+		nc.Close()
+	}
+	l.s.front.Cut() // nothing is left, unless the start failed
+	l.beside.Wait()
+}
+
+// post hands an event to run, and says whether it has been taken: after its end there is nobody to tell.
+func (l *course) post(event func()) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-l.over:
+		return false
+	}
+}
+
+func now() decide.Micros { return takeover.Monotonic() }
+
+// arm sets the timer to the next deadline of either side.
+func (l *course) arm() {
+	next := l.taker.Deadline()
+	if d := l.giver.Deadline(); d != 0 && (next == 0 || d < next) {
+		next = d
+	}
+	if next != 0 {
+		l.wake.Reset(max(0, clock.Duration(next-now())))
+	}
+}
+
+func (l *course) end(err error) {
+	if !l.ended {
+		l.ended, l.result = true, err
+	}
+}
+
+// place is the path of the meeting place, "" where there is none: no other process can have our listening socket.
+func (l *course) place() string {
+	if l.s.config.Meeting == "" {
+		return ""
+	}
+	return filepath.Join(l.s.config.Meeting, meetingPlace)
+}
+
+// begin asks whoever serves to hand over, or starts alone.
+func (l *course) begin() {
+	if path := l.place(); path != "" {
+		c, err := takeover.Dial(path)
+		if err == nil {
+			l.s.log.Info("taking over")
+			l.from = c
+			l.read(c, l.fromGiver)
+			l.takerSteps(l.taker.Begin(now()))
+			return
+		}
+		if !errors.Is(err, syscall.ENOENT) && !errors.Is(err, syscall.ECONNREFUSED) {
+			l.s.log.Warn("nobody to take over from is to be reached", "error", err)
+		}
+	}
+	l.taker.Alone()
+	l.cold()
+}
+
+// cold starts with nothing but what was said by hand.
+func (l *course) cold() {
+	l.s.start()
+	l.s.core.Hear(l.s.spoken()...)
+	l.serve()
+}
+
+// read passes a connection's messages on as events, and its end.
+func (l *course) read(c *takeover.Conn, got func(c *takeover.Conn, m takeover.Message)) {
+	l.beside.Go(func() {
+		for {
+			m, err := c.Read()
+			if err != nil {
+				m = takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}
+			}
+			if !l.post(func() { got(c, m) }) {
+				m.CloseFiles()
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// ---- Taking over -----------------------------------------------------------
+
+func (l *course) fromGiver(c *takeover.Conn, m takeover.Message) {
+	if c != l.from {
+		m.CloseFiles()
+		return
+	}
+	switch m.Kind {
+	case takeover.Handed:
+		l.adopt(m)
+		return
+	case takeover.Words:
+		l.hear(m.Text)
+		return
+	case decide.Offer, decide.Go:
+		l.state = m.Text
+	}
+	m.CloseFiles()
+	l.takerStep(m.Kind, string(m.Text))
+	if l.emptied && !l.taker.Given() {
+		l.emptied = false
+		l.drained()
+	}
+}
+
+func (l *course) takerStep(e decide.Event, reason string) {
+	l.takerSteps(l.taker.Step(now(), e, reason))
+}
+
+func (l *course) takerSteps(steps []decide.Step) {
+	for _, s := range steps {
+		switch s.Action {
+		case decide.Send:
+			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+			if s.Message == decide.Hello {
+				m.Text = fmt.Appendf(nil, "%d", decide.Version)
+			}
+			l.from.Write(m) // a failure shows as the connection's end
+		case decide.Hang:
+			if !l.taker.Serving() || l.taker.Given() {
+				l.s.log.Warn("the process before is not heard any more", "while", l.taker.String())
+			}
+			l.hush(l.from)
+			l.from.Close()
+			l.from = nil
+		case decide.Start:
+			l.startWith()
+		case decide.Take:
+			l.restore("at the handover")
+		case decide.Accept:
+			l.serve()
+		case decide.Cold:
+			l.cold()
+		case decide.Fail:
+			l.end(nil) // told to stop before it began
+		}
+	}
+}
+
+// startWith starts with what was offered, and tells once requests could be served.
+func (l *course) startWith() {
+	s := l.s
+	if from, err := takeover.DecodeState(l.state); err == nil {
+		// The watch goes on where the giver's stands: a whole list might be older than what it has told.
+		if p := from.Core.Pool(""); p != nil && p.Source == s.config.Discovery {
+			s.watcher1.StartAfter(p.Generation)
+		}
+	}
+	s.start()
+	s.core.Hear(s.spoken()...)
+	l.restore("at the start")
+	l.speak(l.from)
+	ctx, cancel := context.WithCancel(context.Background())
+	l.waiting = cancel
+	l.beside.Go(func() {
+		if s.core.Wait(ctx) == nil {
+			l.post(func() { l.takerStep(decide.Started, "") })
+		}
+	})
+}
+
+// restore takes in what the giver learned. What makes no sense is told and left: then we begin with less.
+func (l *course) restore(when string) {
+	from, err := takeover.DecodeState(l.state)
+	if l.state = nil; err != nil {
+		l.s.log.Warn("beginning with less", "when", when, "error", err)
+		return
+	}
+	passed := l.s.core.Restore(from.Core, max(0, now()-from.Taken))
+	l.s.log.Info("what the other process learned is taken over", "when", when, "passed over", passed)
+}
+
+// adopt takes a connection over.
+func (l *course) adopt(m takeover.Message) {
+	for _, f := range m.Files {
+		nc, err := net.FileConn(f)
+		f.Close()
+		switch {
+		case err != nil:
+			l.s.log.Warn("connection not taken over", "error", err)
+		case l.s.accepting.Load():
+			l.s.front.Adopt(nc, l.s.identify)
+		default:
+			l.taken = append(l.taken, nc)
+		}
+	}
+}
+
+// serve accepts clients, and another process that wants to take over.
+func (l *course) serve() {
+	l.accept()
+	for _, nc := range l.taken {
+		l.s.front.Adopt(nc, l.s.identify)
+	}
+	l.taken = nil
+	if path := l.place(); path != "" {
+		var err error
+		if l.takeLn, err = takeover.Replace(path); err != nil {
+			l.s.log.Error("no process will be able to take over from this one", "error", err)
+		} else {
+			ln := l.takeLn
+			l.beside.Go(func() { l.meetAll(ln) })
+		}
+	}
+	l.s.log.Info("serving", "name", l.s.config.Name, "listen", l.ln.Addr().String())
+}
+
+func (l *course) accept() {
+	l.accepts = make(chan error, 1)
+	accepts := l.accepts
+	l.setDeadline(time.Time{})
+	l.s.accepting.Store(true)
+	l.beside.Go(func() { accepts <- l.s.front.Accept(l.ln, l.s.identify) })
+}
+
+// pause ends accept. Who connects from then on waits in the socket's queue.
+func (l *course) pause() {
+	l.s.accepting.Store(false)
+	if l.accepts != nil {
+		l.setDeadline(time.Unix(1, 0))
+		<-l.accepts
+		l.accepts = nil
+	}
+}
+
+func (l *course) setDeadline(t time.Time) {
+	if ln, ok := l.ln.(*net.TCPListener); ok {
+		ln.SetDeadline(t)
+	}
+}
+
+// ---- Handing over ----------------------------------------------------------
+
+// meetAll hears what whoever connects wants. One that says nothing keeps nobody from taking over.
+func (l *course) meetAll(ln *takeover.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		l.beside.Go(func() {
+			m, err := c.ReadWithin(answerTime)
+			m.CloseFiles()
+			if err != nil || !l.post(func() { l.meet(c, m) }) {
+				c.Close()
+			}
+		})
+	}
+}
+
+// meet begins with a taker, if there is none yet.
+func (l *course) meet(c *takeover.Conn, m takeover.Message) {
+	refuse := func(why string) {
+		l.s.log.Warn("a process that wants to take over is turned away", "reason", why)
+		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte(why)})
+		c.Close()
+	}
+	switch {
+	case m.Kind != decide.Hello:
+		refuse("that is no takeover")
+	case string(m.Text) != fmt.Sprint(decide.Version):
+		refuse(fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text))
+	case l.to != nil:
+		refuse("another takeover is under way")
+	default:
+		l.to = c
+		l.read(c, l.fromTaker)
+		l.giverStep(decide.Hello)
+	}
+}
+
+func (l *course) fromTaker(c *takeover.Conn, m takeover.Message) {
+	m.CloseFiles()
+	if c != l.to {
+		return
+	}
+	switch m.Kind {
+	case takeover.Words:
+		l.hear(m.Text)
+		return
+	case decide.Refused, decide.Broken:
+		l.s.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Text))
+	}
+	l.giverStep(m.Kind)
+}
+
+func (l *course) giverStep(e decide.Event) {
+	for _, s := range l.giver.Step(now(), e) {
+		switch s.Action {
+		case decide.Send:
+			l.tell(s)
+		case decide.Hang:
+			if l.to != nil {
+				l.hush(l.to)
+				l.to.Close()
+				l.to = nil
+			}
+		case decide.Close:
+			l.pause()
+			l.state = l.encode(l.s.core.HandOver())
+		case decide.Reopen:
+			l.s.log.Info("serving on, as before")
+			l.takerStep(decide.TookBack, "")
+			l.emptied = false
+			l.s.front.Release(nil)
+			l.s.core.TakeBack()
+			l.s.pool.Idle(true)
+			if l.waiting != nil {
+				l.waiting()
+			}
+			l.accept()
+		case decide.Release:
+			to := l.to
+			l.s.pool.Idle(false) // the descriptors are the taker's now
+			l.s.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
+			l.drained()
+		case decide.Drain:
+			l.drain()
+		case decide.Finish:
+			l.s.log.Info("ending, another process serves")
+			l.s.front.Release(nil)
+			l.s.front.Quiesce()
+			l.drained()
+		case decide.Cut:
+			l.s.log.Warn("what is still open is ended", "after", drainTime)
+			l.s.front.Cut()
+		case decide.End:
+			l.end(nil)
+		}
+	}
+}
+
+func (l *course) tell(s decide.Step) {
+	if l.to == nil {
+		return
+	}
+	m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+	switch s.Message {
+	case decide.Offer:
+		l.s.log.Info("another wants to take over")
+		m.Text = l.encode(l.s.core.Snapshot())
+		l.speak(l.to)
+	case decide.Go:
+		m.Text, l.state = l.state, nil
+	case decide.Yours:
+		l.takerStep(decide.Passed, "") // before the other side accepts
+		l.s.log.Info("handed over", "waiting for", "open requests and connections")
+	}
+	if err := l.to.Write(m); err != nil {
+		c := l.to
+		l.beside.Go(func() {
+			l.post(func() { l.fromTaker(c, takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}) })
+		})
+	}
+}
+
+// drain ends what is open in order: clients still connect for a moment, and are served, with each answer closing its
+// connection. Refusing those that come meanwhile would fail them for nothing.
+func (l *course) drain() {
+	l.s.log.Info("stopping")
+	l.s.accepting.Store(false)
+	l.s.front.Release(nil)
+	l.s.front.Quiesce()
+	if l.takeLn != nil {
+		l.takeLn.Close()
+	}
+	if l.accepts == nil { // paused for a taker that is gone
+		l.accept()
+		l.s.accepting.Store(false)
+	}
+	l.beside.Go(func() {
+		select {
+		case <-time.After(acceptFor):
+		case <-l.over:
+		}
+		l.post(func() {
+			l.setDeadline(time.Unix(1, 0)) // the socket may be the platform's: closing our own descriptor would not do
+			l.ln.Close()
+			// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
+			l.s.front.Quiesce()
+			l.drained()
+		})
+	})
+}
+
+// drained tells once no connection is served any more, and none will be handed to us.
+func (l *course) drained() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.waiting = cancel
+	l.beside.Go(func() {
+		if l.s.front.Wait(ctx) == nil {
+			l.post(func() {
+				if l.emptied = l.taker.Given(); !l.emptied {
+					l.giverStep(decide.Drained)
+				}
+			})
+		}
+	})
+}
+
+// encode returns the form of what we know, nothing where it has none: the taker then begins with less.
+func (l *course) encode(s *engine.Snapshot) []byte {
+	state := takeover.State{Taken: now(), Core: s}
+	text, err := state.Encode()
+	if err != nil {
+		l.s.log.Error("what was learned cannot be handed over", "error", err)
+		return nil
+	}
+	return text
+}
+
+// ---- Words by hand ----------------------------------------------------------
+
+// speak has words by hand told to another process from now on, and hush ends that.
+func (l *course) speak(c *takeover.Conn) {
+	l.peers.Lock()
+	defer l.peers.Unlock()
+	l.talked = append(l.talked, c)
+}
+
+func (l *course) hush(c *takeover.Conn) {
+	l.peers.Lock()
+	defer l.peers.Unlock()
+	for i, o := range l.talked {
+		if o == c {
+			l.talked = append(l.talked[:i:i], l.talked[i+1:]...)
+			return
+		}
+	}
+}
+
+// say tells a word to the other processes of this sidecar. It may be called from any goroutine.
+func (l *course) say(w bans.Word) {
+	l.peers.Lock()
+	to := l.talked
+	l.peers.Unlock()
+	for _, c := range to {
+		text, err := json.Marshal([]bans.Word{w})
+		if err == nil {
+			c.Write(takeover.Message{Kind: takeover.Words, Text: text}) // a failure shows as the connection's end
+		}
+	}
+}
+
+func (l *course) hear(text []byte) {
+	var words []bans.Word
+	if err := json.Unmarshal(text, &words); err != nil {
+		l.s.log.Warn("words by hand from the other process make no sense", "error", err)
+		return
+	}
+	l.s.core.Hear(words...)
+}
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strconv"
 
+	"dunlinsail/internal/decide/bans"
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/operators"
 	"dunlinsail/internal/takeover"
@@ -29,11 +35,66 @@
 
 // byHand takes an endpoint out, or lets it in again.
 func (s *sidecar) byHand(ctx context.Context, target string, out bool) error {
-	_, known, err := s.core.ByHand(ctx, target, out, takeover.Monotonic())
-	if err == nil && !known {
-		err = operators.ErrUnknown
+	w, known, err := s.core.ByHand(ctx, target, out, takeover.Monotonic())
+	switch {
+	case err != nil:
+		return err
+	case !known:
+		return operators.ErrUnknown
+	}
+	s.course.say(w)
+	s.write(ctx)
+	return nil
+}
+
+// wordsFile holds the words by hand in the folder that two versions of a sidecar share, for the case that the old one can
+// say nothing any more when the new one starts. It is empty at any other start.
+const (
+	wordsFile = "dunlinsail.words"
+	wordsMost = 1 << 20
+)
+
+// write keeps the words. That it fails is told, and no reason to say no: they hold here, and are handed over.
+func (s *sidecar) write(ctx context.Context) {
+	if s.config.Meeting == "" {
+		return
+	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	words, err := s.core.Words(ctx)
+	if err == nil {
+		var text []byte
+		if text, err = json.Marshal(words); err == nil {
+			path := filepath.Join(s.config.Meeting, wordsFile)
+			own := fmt.Sprintf("%s.%d", path, os.Getpid())
+			if err = os.WriteFile(own, text, 0o600); err == nil {
+				err = os.Rename(own, path)
+			}
+		}
+	}
+	if err != nil {
+		s.log.Warn("words by hand not written: only this process knows them", "error", err)
+	}
+}
+
+// spoken returns the words that another process of this sidecar has kept.
+func (s *sidecar) spoken() (words []bans.Word) {
+	if s.config.Meeting == "" {
+		return nil
+	}
+	f, err := os.Open(filepath.Join(s.config.Meeting, wordsFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err == nil {
+		defer f.Close()
+		err = json.NewDecoder(io.LimitReader(f, wordsMost)).Decode(&words)
+	}
+	if err != nil {
+		s.log.Warn("words by hand not read: who was taken out is to be taken out again", "error", err)
+		return nil
 	}
-	return err
+	return words
 }
 
 // figures returns the figures of one moment, a line each.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dunlinsail/balancer"
@@ -61,11 +62,11 @@
 // upstreamConns is how many connections to endpoints may be open.
 func upstreamConns(sockets int) int { return sockets - ownSockets - clientLimits(sockets).Total }
 
-// Run serves until stop ends, then finishes what it has taken and returns. At each signal of reload it reads
-// the configuration again.
+// Run serves until stop ends, or another process has taken over, then finishes what it has taken and returns. At each
+// signal of reload it reads the configuration again.
 func Run(stop context.Context, c *platform.Config, reload <-chan os.Signal, read func() (*platform.Config, error),
 	log *slog.Logger) error {
-	ln, err := net.Listen("tcp", c.Listen)
+	ln, err := listen(c)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -77,6 +78,24 @@
 	return s.serve(stop, ln, reload, read)
 }
 
+// listen returns the clients' listening socket: the platform's, where it holds it, or our own.
+func listen(c *platform.Config) (net.Listener, error) {
+	if c.Inherited == 0 {
+		return net.Listen("tcp", c.Listen)
+	}
+	f := os.NewFile(uintptr(c.Inherited), "inherited")
+	if f == nil {
+		return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no descriptor", c.Inherited)
+	}
+	defer f.Close() // the listener has one of its own
+	for option, is := range map[int]int{syscall.SO_TYPE: syscall.SOCK_STREAM, syscall.SO_ACCEPTCONN: 1} {
+		if v, err := syscall.GetsockoptInt(c.Inherited, syscall.SOL_SOCKET, option); err != nil || v != is {
+			return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no listening stream socket", c.Inherited)
+		}
+	}
+	return net.FileListener(f)
+}
+
 // sidecar is what assemble put together.
 type sidecar struct {
 	config *platform.Config
@@ -89,7 +108,11 @@
 	events *events.Log   // nil where they are not asked for
 
 	endpoints *core.Pool
+	watcher1  *discovery.Watcher // the first
+	start     func()             // starts what runs beside the front
+	course    *course
 	accepting atomic.Bool // clients are taken
+	writing   sync.Mutex  // of the words by hand
 }
 
 // assemble puts a sidecar together without starting it. dial opens connections to endpoints; nil is the usual
@@ -115,6 +138,7 @@
 		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive,
 		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
 	w := s.watcher(c.Discovery, c.Known.Generation)
+	s.watcher1 = w
 	if c.Site.Settings.Subscribe {
 		s.source = discovery.Once(w, func() { s.endpoints.Members(context.Background(), engine.Told{Kind: balancer.ListFailed}) })
 	} else {
@@ -122,7 +146,7 @@
 	}
 	var err error
 	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observe: observe})
-	s.endpoints, err = s.core.NewPool(engine.PoolConfig{Known: c.Known.Told(), Watch: s.source.Watch})
+	s.endpoints, err = s.core.NewPool(engine.PoolConfig{Source: c.Discovery, Known: c.Known.Told(), Watch: s.source.Watch})
 	if err != nil {
 		return nil, err
 	}
@@ -156,43 +180,21 @@
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	beside.Go(func() { s.core.Run(ctx) })
-	beside.Go(func() { s.pool.Keep(ctx) })
 	beside.Go(func() { s.reloads(ctx, reload, read) })
-	defer s.source.Close()
-	if !s.config.Site.Settings.Subscribe {
-		s.source.Watch(true)
+	s.start = func() {
+		beside.Go(func() { s.core.Run(ctx) })
+		beside.Go(func() { s.pool.Keep(ctx) })
+		if !s.config.Site.Settings.Subscribe {
+			s.source.Watch(true)
+		}
 	}
-
+	defer s.source.Close()
+	s.course = newCourse(s, ln)
 	unoperate, err := s.operate()
 	if err != nil {
 		ln.Close()
 		return err
 	}
 	defer unoperate()
-	accepted := make(chan error, 1)
-	s.accepting.Store(true)
-	go func() { accepted <- s.front.Accept(ln, s.identify) }()
-	s.log.Info("serving", "name", s.config.Name, "listen", ln.Addr().String())
-	select {
-	case err := <-accepted:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
-	}
-	s.drain(ln, accepted)
-	return nil
-}
-
-// drain goes on serving while clients may still connect, with each answer closing its connection, and then
-// finishes what was taken. Refusing the clients that come meanwhile would fail them for nothing.
-func (s *sidecar) drain(ln net.Listener, accepted <-chan error) {
-	s.log.Info("stopping")
-	s.accepting.Store(false)
-	s.front.Quiesce()
-	time.Sleep(acceptFor)
-	ln.Close()
-	<-accepted
-	// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
-	s.front.Quiesce()
-	s.front.Wait(context.Background())
+	return s.course.run(stop)
 }
--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -23,10 +23,12 @@
 	Files []*os.File     // as read
 }
 
-// Handed is a connection at rest, from giver to taker. Chunk is a part of what the next message says.
+// Handed is a connection at rest, from giver to taker. Chunk is a part of what the next message says. Words are what was
+// said by hand of endpoints, from either side.
 const (
 	Handed decide.Event = 100 + iota
 	chunk
+	Words
 )
 
 const (
@@ -119,6 +121,27 @@
 	return os.Remove(path)
 }
 
+// Replace listens for takers at a path in place of whoever listens there, from one moment to the next: who takes over from
+// the one before us has come to us. The path stays when the listener is closed, since it may be the next one's by then.
+func Replace(path string) (*Listener, error) {
+	own := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(own) // of a process that had our number
+	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: own, Net: "unixpacket"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false)
+	if err = os.Chmod(own, 0o600); err == nil {
+		err = os.Rename(own, path)
+	}
+	if err != nil {
+		ln.Close()
+		os.Remove(own)
+		return nil, err
+	}
+	return &Listener{ln}, nil
+}
+
 // FromFile returns the listener of an inherited socket. The file may be closed afterwards.
 func FromFile(f *os.File) (*Listener, error) {
 	ln, err := net.FileListener(f)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -288,6 +288,16 @@
 	}
 }
 
+// Idle says whether connections that are not in use are kept. Another process may need the descriptors.
+func (p *Pool) Idle(keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed = !keep; p.closed {
+		for p.evictLocked() {
+		}
+	}
+}
+
 // Keep sweeps until ctx ends, and then closes what is idle.
 func (p *Pool) Keep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
@@ -297,11 +307,7 @@
 		case <-tick.C:
 			p.sweep()
 		case <-ctx.Done():
-			p.mu.Lock()
-			p.closed = true
-			for p.evictLocked() {
-			}
-			p.mu.Unlock()
+			p.Idle(false)
 			return
 		}
 	}
