Stream large messages both ways in the sidecar, and wait for what is slow but not silent

Ruled out: CPU (under 0.2 of a core), connections (128 of 1,024), overload. Change: PROTOCOL's requests go the way that routed ones go, each class a route; up to 64 KiB is held, beyond it bytes go on as they come. An answer that has begun ends the shorter wait for silent connections; a streamed body's times begin with its last byte; an endpoint on which bytes flow is not held for jammed; whether a spent request is refused or failed is the balancer's word.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -238,6 +238,7 @@
 	Retry    bool // the client marked it as a repetition
 	Tries    int  // attempts at most, within Limits.MaxAttempts; 0 is as many as that
 	Write    bool
+	Upload   bool // its body comes while an endpoint takes it: until that is over, the endpoint owes nothing
 	Tenant   uint16
 	Class    uint8
 }
@@ -266,6 +267,7 @@
 	Status   Status
 	Latency  Micros
 	Settled  bool // the request has its final answer
+	Spent    bool // a part of it has gone out that cannot be shown again: no further attempt can be made
 	Load     []float32
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -173,6 +173,9 @@
 		e.quietFrom = now
 	}
 	e.inflight++
+	if r.Upload {
+		b.streams(&r.attempts[len(r.attempts)-1])
+	}
 	e.sentAt = now
 	e.whole.try(now)
 	for _, i := range b.parts(r) {
@@ -190,7 +193,7 @@
 func (b *Balancer) patience(now Micros, r *request, expected float64) Micros {
 	c := b.class(r)
 	wait := max(waitMost*expected, float64(c.Aim)/waitLeast)
-	if c.Repeat != Safe || len(r.attempts) >= b.most(r) || !b.mayRetry(now) ||
+	if c.Repeat != Safe || r.Upload || len(r.attempts) >= b.most(r) || !b.mayRetry(now) ||
 		float64(now-r.arrived)+wait+expected > float64(c.Aim) {
 		return 0
 	}
@@ -275,8 +278,8 @@
 	restarted := !fresh && in.StartTime != 0 && in.StartTime != e.StartTime
 	if restarted {
 		// A new process owes nothing to the old one's record.
-		*e = endpoint{inflight: e.inflight, probing: e.probing, asked: e.asked, probedAt: e.probedAt,
-			ills: b.newIlls(), banned: e.banned}
+		*e = endpoint{inflight: e.inflight, streams: e.streams, probing: e.probing, asked: e.asked,
+			probedAt: e.probedAt, ills: b.newIlls(), banned: e.banned}
 		b.pool = slices.DeleteFunc(b.pool, func(o *endpoint) bool { return o == e })
 	}
 	started := in.StartTime
@@ -309,8 +312,8 @@
 	if e.banned = out; out {
 		return
 	}
-	*e = endpoint{Endpoint: e.Endpoint, inflight: e.inflight, sentAt: e.sentAt, quietFrom: e.quietFrom,
-		probing: e.probing, asked: e.asked, probedAt: e.probedAt, ills: b.newIlls()}
+	*e = endpoint{Endpoint: e.Endpoint, inflight: e.inflight, streams: e.streams, sentAt: e.sentAt,
+		quietFrom: e.quietFrom, probing: e.probing, asked: e.asked, probedAt: e.probedAt, ills: b.newIlls()}
 	b.chill(now, e, now)
 }
 
@@ -618,7 +621,7 @@
 func (b *Balancer) predict(now Micros, e *endpoint, work float64) float64 {
 	x := e.rtt.or(0) + work*b.slowdown()*e.paceNow(now, b)*b.crowding(now, e)
 	// One that owes answers and gives none is jammed or stuck, long before averages show it.
-	return max(x, float64(now-e.quietFrom)*share(e.inflight > 0))
+	return max(x, float64(now-e.quietFrom)*share(e.inflight > e.streams))
 }
 
 // cost ranks endpoints: predicted latency, and as time a zone crossing's price.
@@ -948,9 +951,23 @@
 		return
 	}
 	r.stream = true
+	a := &r.attempts[attempt]
+	a.ep.quietFrom = now
+	if r.Upload || now-r.arrived <= b.class(r).Aim {
+		r.good = 1
+	}
+	b.streams(a)
 	b.withdraw(r, attempt)
 }
 
+// streams notes that bytes flow on an attempt, however long: its endpoint is not silent for that.
+func (b *Balancer) streams(a *attempt) {
+	if a.out && !a.streams {
+		a.streams = true
+		a.ep.streams++
+	}
+}
+
 // Outcome handles the end of an attempt.
 func (b *Balancer) Outcome(now Micros, o Outcome) {
 	r := b.requests[o.ID]
@@ -961,6 +978,7 @@
 	a.out = false
 	r.out--
 	a.ep.inflight--
+	a.ep.streams -= int(share(a.streams))
 	a.ep.quietFrom = now
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
@@ -977,7 +995,7 @@
 		return
 	}
 	// What proves that it never ran is paid for, too: where most endpoints are full, free retries are a storm.
-	if b.mayRetry(now) && b.attempt(now, r, false) {
+	if !o.Spent && b.mayRetry(now) && b.attempt(now, r, false) {
 		b.credit--
 		b.again.add(b.part(now))
 		return
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -99,6 +99,7 @@
 	expected float64 // latency predicted when sent
 	factor   float64 // work times the crowding seen when sent
 	out      bool    // no outcome yet
+	streams  bool    // bytes of its request or answer flow
 	mayRun   bool    // it may have had its effect, or may yet
 }
 
@@ -115,6 +116,7 @@
 	shareAt  float64 // what was served when that was counted
 
 	inflight  int    // own attempts without outcome
+	streams   int    // of these, such on which bytes flow: they owe no answer
 	sentAt    Micros // latest own send
 	quietFrom Micros // its latest answer since it holds any
 	probing   bool
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,9 @@
 
 	// Began is asked when an answer has begun that is too large to be held (engine.Engine.Began).
 	Began func(r engine.Reply) bool
+
+	// Heard tells that an answer that is held comes, if slowly (engine.Engine.Heard).
+	Heard func()
 }
 
 // Call is a client's request on its way through the core.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -46,14 +46,14 @@
 	s := &sending{began: time.Now(), cancel: cancel}
 	a.Host = s
 	e, c := a.Endpoint, a.Call.Host.(*Call)
-	to := e.Target.(Target) // it may have another address later
+	to, deadline := e.Target.(Target), a.Deadline // they may change later
 	go func() {
-		r := c.Attempt(ctx, &Try{To: to, Deadline: a.Deadline, MayGo: func(now balancer.Micros) bool {
+		r := c.Attempt(ctx, &Try{To: to, Deadline: deadline, MayGo: func(now balancer.Micros) bool {
 			// The dial may have outlasted the grace of a drain or the time of the request.
-			return e.MaySend(now) && now < a.Deadline && s.gate.pass()
+			return e.MaySend(now) && now < deadline && s.gate.pass()
 		}, Began: func(r engine.Reply) bool {
 			return ask(x, func(now balancer.Micros) bool { return x.engine.Began(now, a, r) })
-		}})
+		}, Heard: func() { x.post(func(now balancer.Micros) { x.engine.Heard(now, a) }) }})
 		x.post(func(now balancer.Micros) { x.engine.Ended(now, a, r) })
 	}()
 }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -57,7 +57,7 @@
 		}
 		d.pools[conf.Name] = p
 	}
-	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, Send: d.conns.Send, SendWhole: d.conns.SendWhole, Log: o.Log,
+	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendWhole: d.conns.SendWhole, Log: o.Log,
 		Limits: c.RestLimits()}
 	if p := d.pools[""]; p != nil {
 		front.Pool = p.endpoints
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -4,7 +4,6 @@
 package http1
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,7 +20,6 @@
 	"syscall"
 	"time"
 
-	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/conns"
@@ -34,11 +32,11 @@
 // heldRetryAfter is advised to a client that has as many bytes held as it may: an answer or two take that long.
 const heldRetryAfter = 100 * time.Millisecond
 
-// HeaderMost is the most bytes that a request's head may have, and RequestTime how long a request may take to arrive
-// whole, from its first byte or the connection's beginning.
+// HeaderMost is the most bytes that a request's head may have, and RequestTime how long a head may take to arrive whole, from
+// its first byte or the connection's beginning: clients may take 2 s (DAYS), and their last bytes travel for a while.
 const (
 	HeaderMost  = 16 << 10
-	RequestTime = 2 * time.Second
+	RequestTime = 2500 * time.Millisecond
 )
 
 // Options are what a Front needs.
@@ -49,11 +47,9 @@
 	Limits conns.Limits // of the clients' connections
 	Log    *slog.Logger
 
-	// Send makes an attempt at an endpoint (upstream.Pool.Send).
-	Send func(ctx context.Context, t *core.Try, m *upstream.Message) engine.Reply
 	Pool *core.Pool // to which all requests go, without routes
 
-	// SendWhole makes an attempt of a request that has been routed (upstream.Pool.SendWhole).
+	// SendWhole makes an attempt at an endpoint (upstream.Pool.SendWhole).
 	SendWhole func(ctx context.Context, t *core.Try, q *upstream.Request) engine.Reply
 
 	// Record is told of each request that was taken, once it is over, from many goroutines; it must not wait. nil is
@@ -68,11 +64,13 @@
 	closing atomic.Bool
 	routes  atomic.Pointer[Routes] // nil is PROTOCOL
 	counts  counts
+	ways    []Route // of PROTOCOL's requests, by class
 }
 
 // New returns a front, or the error of limits that make no sense.
 func New(o Options) (*Front, error) {
 	f := &Front{o: o, counts: newCounts(len(o.Site.Classes))}
+	f.ways = f.plainRoutes()
 	var err error
 	f.conns, err = newConnections(o.Limits, o.Clock, f.talk, o.Log)
 	return f, err
@@ -191,36 +189,7 @@
 	if routes != nil {
 		return f.routed(c, r, routes)
 	}
-	k, err := f.parse(c, r)
-	if err != nil {
-		c.turnAway(turnedAway(err))
-		return false
-	}
-	if !f.conns.take(c) {
-		return false
-	}
-	x := f.taken(c, r, k, "", r.Header.Get("Idempotency-Key"), r.Header.Get("X-Object"), r.ContentLength)
-	gone := c.watch()
-	f.o.Core.Submit(k)
-	select {
-	case a := <-k.Answer:
-		c.SetReadDeadline(past)
-		if err := <-gone; err == nil {
-			f.over(x, k.In.Class, &a, http.StatusBadRequest, 0)
-			c.turnAway(newResponse(http.StatusBadRequest, surplus))
-			return false
-		}
-		code, out := verdictCode(&a)
-		defer f.over(x, k.In.Class, &a, code, out)
-		return f.answer(c, a, r.Close)
-	case err := <-gone:
-		f.over(x, k.In.Class, nil, 0, 0)
-		f.o.Core.Leave(k)
-		if err == nil {
-			c.turnAway(newResponse(http.StatusBadRequest, surplus))
-		}
-		return false
-	}
+	return f.plain(c, r)
 }
 
 const surplus = "more was sent than the request's length tells"
@@ -258,50 +227,6 @@
 	return a
 }
 
-// verdictCode is the status of a final answer as PROTOCOL has it, and the length of its body where an endpoint gave it.
-func verdictCode(a *engine.Answer) (code int, length int64) {
-	switch a.Verdict {
-	case engine.Served:
-		return http.StatusOK, int64(len(a.Reply.Answer.(*upstream.Answer).Body))
-	case engine.Refused:
-		return http.StatusServiceUnavailable, 0
-	case engine.Limited:
-		return http.StatusTooManyRequests, 0
-	case engine.IDOpen:
-		return http.StatusConflict, 0
-	case engine.FailedLate:
-		return http.StatusGatewayTimeout, 0
-	}
-	return http.StatusBadGateway, 0
-}
-
-// answer gives the final answer, and says whether the connection may serve another request.
-func (f *Front) answer(c *conn, a engine.Answer, last bool) bool {
-	var r *response
-	code, _ := verdictCode(&a)
-	switch a.Verdict {
-	case engine.Served:
-		from := a.Reply.Answer.(*upstream.Answer)
-		r = &response{code: code, header: http.Header{}, body: from.Body}
-		for k, v := range from.Header {
-			if !hopByHop(k, from.Header) && k != "Endpoint-Load-Metrics" {
-				r.header[k] = v
-			}
-		}
-		f.conns.hold(c, int64(len(r.body)), true)
-	case engine.Refused, engine.Limited:
-		r = newResponse(code, "refused: "+cmp.Or(a.Reason, "try again later")).retryAfter(clock.Duration(a.RetryAfter))
-	case engine.IDOpen:
-		r = newResponse(code, "a request with this X-Trace-Id is open")
-	case engine.FailedLate:
-		r = newResponse(code, "no answer in time")
-	default:
-		r = newResponse(code, "failed")
-	}
-	last = last || f.closing.Load() || a.Verdict == engine.IDOpen
-	return c.write(r, last) && f.conns.rest(c) && !last
-}
-
 // badRequest says why a request is not taken.
 type badRequest struct {
 	code       int
@@ -316,111 +241,6 @@
 	return &badRequest{code: code, reason: fmt.Sprintf(format, args...)}
 }
 
-// parse reads the rest of a request and says what is wrong with it.
-func (f *Front) parse(conn *conn, r *http.Request) (*core.Call, error) {
-	switch {
-	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
-		return nil, bad(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
-	case len(r.TransferEncoding) > 0:
-		// A reader that goes by the one header may find a request in what is a body by the other.
-		return nil, bad(http.StatusLengthRequired, "a Content-Length only")
-	case r.ContentLength > site.BodyMost:
-		return nil, bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", site.BodyMost)
-	case !strings.HasPrefix(r.RequestURI, "/"):
-		return nil, bad(http.StatusBadRequest, "the target must be a path")
-	case !visible(r.Host):
-		return nil, bad(http.StatusBadRequest, "Host makes no sense")
-	}
-	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "Idempotency-Key"} {
-		if v := r.Header[name]; len(v) > 0 && !visible(v[0]) { // that it stands once, message.CheckHead has seen
-			return nil, bad(http.StatusBadRequest, "%s makes no sense", name)
-		}
-	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	name := r.Header.Get("X-Qos")
-	if name == "" {
-		name = first
-	}
-	class := slices.Index(f.o.Site.Classes, name)
-	if class < 0 {
-		return nil, bad(http.StatusNotFound, "unknown class %q", name)
-	}
-	if name != first {
-		return nil, bad(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
-	}
-	id := r.Header.Get("X-Trace-Id")
-	if id == "" {
-		return nil, bad(http.StatusBadRequest, "X-Trace-Id is missing")
-	}
-	settings := &f.o.Site.Settings.Classes[class]
-	method := http.MethodPost
-	if settings.Repeat == balancer.Safe {
-		method = http.MethodGet
-	}
-	if r.Method != method {
-		return nil, bad(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
-	}
-	if method == http.MethodGet && r.ContentLength != 0 {
-		return nil, bad(http.StatusBadRequest, "class %q takes no body", name)
-	}
-	if settings.Repeat == balancer.Keyed && r.Header.Get("Idempotency-Key") == "" {
-		return nil, bad(http.StatusBadRequest, "Idempotency-Key is missing") // a repeat would not be known as one
-	}
-	left := settings.GiveUp
-	if text := r.Header.Get("X-Expires-In-Ms"); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 63)
-		if err != nil {
-			return nil, bad(http.StatusBadRequest, "X-Expires-In-Ms is not a whole number of milliseconds")
-		}
-		left = min(left, int64(min(ms, math.MaxInt32))*1000)
-	}
-	c := &core.Call{Client: conn.client.share, Pool: f.o.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: uint8(class),
-		Tenant: f.tenant(r), Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1"}}
-	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		c.In.Hint, c.In.HasHint = hint, true
-	}
-	if !f.conns.hold(conn, r.ContentLength, false) {
-		return nil, &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter,
-			reason: "refused: too many bytes of this client's requests are held"}
-	}
-	body, err := conn.body(r)
-	if err != nil {
-		return nil, err
-	}
-	c.Arrived = f.o.Clock.Now()
-	c.In.Deadline = c.Arrived + left - site.AnswerMargin.Microseconds()
-	out := &upstream.Message{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: http.Header{}, Body: body}
-	for k, v := range r.Header {
-		if !hopByHop(k, r.Header) && k != "X-Expires-In-Ms" {
-			out.Header[k] = v
-		}
-	}
-	c.Attempt = func(ctx context.Context, t *core.Try) engine.Reply { return f.o.Send(ctx, t, out) }
-	return c, nil
-}
-
-// body reads the body. What follows it before the answer is no request: clients send one at a time, so the
-// length is wrong, and who sent it must not be served with what an endpoint makes of a part.
-func (c *conn) body(r *http.Request) ([]byte, error) {
-	c.limit.N = max(0, r.ContentLength-int64(c.r.Buffered())) + 1
-	if expect := r.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") && r.ContentLength > 0 {
-		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
-	} else if expect != "" {
-		return nil, bad(http.StatusExpectationFailed, "Expect makes no sense")
-	}
-	var body []byte
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, bad(http.StatusBadRequest, "the body is not whole")
-		}
-	}
-	if c.r.Buffered() > 0 {
-		return nil, bad(http.StatusBadRequest, surplus)
-	}
-	return body, nil
-}
-
 // visible says whether a header's value is plain text of some length.
 func visible(v string) bool {
 	return v != "" && !strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
@@ -446,12 +266,3 @@
 	io.WriteString(h, object)
 	return h.Sum64()
 }
-
-// hopByHop says whether a header concerns one connection only.
-func hopByHop(name string, h http.Header) bool {
-	switch name {
-	case "Expect", "Host", "X-Never-Ran":
-		return true
-	}
-	return message.HopByHop(name, h["Connection"])
-}
--- a/internal/front/http1/routes.go
+++ b/internal/front/http1/routes.go
@@ -231,7 +231,6 @@
 	k := &core.Call{Client: c.client.share, Pool: rt.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: class,
 		Tenant: f.tenantNamed(rt.Tenant.of(c, q, path)), Key: key(rt.Object.of(c, q, path)), Tries: rt.Tries}}
 	k.In.Deadline = left - site.AnswerMargin.Microseconds() // from its arrival
-	k.Attempt = f.sending(out)
 	return k, out, nil
 }
 
--- a/internal/front/http1/whole.go
+++ b/internal/front/http1/whole.go
@@ -55,28 +55,45 @@
 	if err == nil {
 		framing, err = message.RequestFraming(q.Header)
 	}
-	switch {
-	case err != nil:
-	case framing.Kind == message.Sized && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
-		err = bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.BodyMost)
-	case !f.conns.hold(c, rt.held(framing), false):
-		err = &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter, status: "connection_limit_reached",
-			reason: "refused: too many bytes of this client's requests are held"}
+	if err == nil {
+		err = w.hold(rt, out, framing)
 	}
 	if err != nil {
 		return w.turnAway(err)
 	}
+	return w.serve(rt, k, out, framing, path)
+}
+
+// hold takes in what is held of a request's body, if it may be.
+func (w *answering) hold(rt *Route, out *upstream.Request, framing message.Framing) error {
+	switch {
+	case framing.Kind == message.Sized && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
+		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.BodyMost)
+	case !w.f.conns.hold(w.c, rt.held(framing), false):
+		return &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter, status: "connection_limit_reached",
+			reason: "refused: too many bytes of this client's requests are held"}
+	}
 	if err := w.body(rt, out, framing); err != nil {
-		return w.turnAway(err)
+		return err
+	}
+	if b, _ := w.c.r.Peek(w.c.r.Buffered()); w.plain && out.Stream == nil && !mayBegin(b) {
+		return bad(http.StatusBadRequest, surplus)
 	}
+	return nil
+}
+
+// serve serves a request that is taken, and says whether the connection may serve another.
+func (w *answering) serve(rt *Route, k *core.Call, out *upstream.Request, framing message.Framing, path string) bool {
+	f, c, q := w.f, w.c, w.q
 	if !f.conns.take(c) {
 		return false
 	}
 	w.edits, w.idle = &rt.Answer, rt.OtherRules.Idle
+	k.Attempt = f.sending(out)
 	k.Arrived = f.o.Clock.Now()
 	k.In.Deadline += k.Arrived
 	if s := out.Stream; s != nil {
-		k.Spent = s.Taken
+		k.Spent, k.In.Upload = s.Taken, true
 		k.In.Deadline = k.Arrived + rt.Whole.Microseconds()
 	}
 	in := int64(len(out.Body))
@@ -109,6 +126,7 @@
 	q     *http.Request
 	agent string
 	last  bool // the connection is closed behind the answer
+	plain bool // by PROTOCOL: what is not served is answered by us, whatever an endpoint said
 
 	stream *upstream.Stream // of the request's body, which an attempt has taken; nil where it is held, or none has
 	edits  *Edits           // of an endpoint's answer
@@ -142,7 +160,10 @@
 	}
 	if length < 0 || length <= rt.BodyHold {
 		until := time.Now().Add(RequestTime)
-		if length < 0 {
+		switch {
+		case w.plain: // an endpoint begins with the last byte: going on with a part gains nothing
+			until = until.Add(time.Duration(rt.held(framing)) * time.Second / slowBody)
+		case length < 0:
 			until = time.Now().Add(holdTime)
 		}
 		var err error
@@ -238,7 +259,15 @@
 		case a = <-k.Answer:
 			waiting = false
 		case err := <-gone:
-			if gone = nil; err != nil {
+			if gone = nil; err == nil && w.plain {
+				if b, _ := c.r.Peek(c.r.Buffered()); !mayBegin(b) {
+					w.f.over(w.noted, k.In.Class, nil, 0, 0)
+					w.f.o.Core.Leave(k)
+					c.turnAway(newResponse(http.StatusBadRequest, surplus))
+					return false
+				}
+			}
+			if err != nil {
 				w.f.over(w.noted, k.In.Class, nil, 0, 0)
 				w.f.o.Core.Leave(k)
 				return false
@@ -269,7 +298,14 @@
 
 // answer gives the final answer, and says whether the connection may serve another request.
 func (w *answering) answer(a engine.Answer) bool {
-	if a.Reply != nil && a.Reply.Answer != nil {
+	if a.Verdict != engine.Served && w.stream != nil {
+		<-w.stream.Over()
+		if err := w.stream.Err(); err != nil { // it is the client's body that has failed
+			w.last = true
+			return w.own(turnedAway(bodyError(err)), "http_request_error")
+		}
+	}
+	if a.Reply != nil && a.Reply.Answer != nil && (a.Verdict == engine.Served || !w.plain) {
 		return w.pass(a.Reply.Answer.(*upstream.Whole))
 	}
 	switch a.Verdict {
@@ -280,17 +316,7 @@
 		return w.own(newResponse(http.StatusTooManyRequests, "refused: "+a.Reason).retryAfter(clock.Duration(a.RetryAfter)), "http_request_denied")
 	case engine.IDOpen:
 		return w.own(newResponse(http.StatusConflict, "a request with this id is open"), "http_request_denied")
-	case engine.Failed, engine.FailedLate:
-		if w.stream != nil {
-			<-w.stream.Over()
-			if err := w.stream.Err(); err != nil { // it is the client's body that has failed
-				w.last = true
-				return w.own(turnedAway(bodyError(err)), "http_request_error")
-			}
-		}
-		if a.Verdict == engine.Failed {
-			break
-		}
+	case engine.FailedLate:
 		return w.own(newResponse(http.StatusGatewayTimeout, "no answer in time"), "http_response_timeout")
 	}
 	return w.own(newResponse(http.StatusBadGateway, "failed"), "http_response_incomplete")
@@ -406,16 +432,22 @@
 	if _, err := w.c.Write(b); err != nil {
 		return false
 	}
-	if !whole && !w.copy(a.Rest, chunked) {
-		w.c.reset()
-		return false
+	if !whole {
+		switch whole, failed := w.copy(a.Rest, chunked); {
+		case failed:
+			w.status = http.StatusBadGateway // in all but name: the client can tell that it is not whole
+			fallthrough
+		case !whole:
+			w.c.reset()
+			return false
+		}
 	}
 	return w.f.conns.rest(w.c) && !w.last
 }
 
-// copy passes on what follows of an answer as it comes, and says whether that went well. The client's pace is the
-// endpoint's: what the one does not take, the other is not asked for.
-func (w *answering) copy(rest *upstream.Rest, chunked bool) bool {
+// copy passes on what follows of an answer as it comes, and says whether it is whole, and if not, whether that is the
+// endpoint's doing. The client's pace is the endpoint's: what the one does not take, the other is not asked for.
+func (w *answering) copy(rest *upstream.Rest, chunked bool) (whole, failed bool) {
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buf)
 	const room = 16 // for a chunk's head
@@ -437,12 +469,12 @@
 		}
 		if len(text) > 0 {
 			w.c.SetWriteDeadline(time.Now().Add(w.idle))
-			if _, failed := w.c.Write(text); failed != nil {
-				return false
+			if _, left := w.c.Write(text); left != nil {
+				return false, false
 			}
 		}
 		if err != nil {
-			return err == io.EOF
+			return err == io.EOF, err != io.EOF
 		}
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Pool: s.endpoints, Send: s.pool.Send,
+	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Pool: s.endpoints, SendWhole: s.pool.SendWhole,
 		Limits: clientLimits(sockets(c)), Log: log})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/sidecar/size_test.go
@@ -0,0 +1,253 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/peer"
+)
+
+func before(t *testing.T, addr ...string) *platform.Config {
+	t.Helper()
+	var list []discovery.Instance
+	for i, a := range addr {
+		list = append(list, board.Up(fmt.Sprint("s-", i), a))
+	}
+	return configure(t, peer.Nowhere(t), list)
+}
+
+func pattern(n int) []byte { return bytes.Repeat([]byte("0123456789abcdef"), n/16) }
+
+// echo answers with the body as it comes, in chunks where it came so.
+func echo(w http.ResponseWriter, r *http.Request) {
+	http.NewResponseController(w).EnableFullDuplex()
+	if r.ContentLength >= 0 {
+		w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
+	}
+	io.Copy(w, r.Body)
+}
+
+// All forms of a request reach the endpoint with the body that the client meant, and all forms of an answer the client.
+func TestForms(t *testing.T) {
+	s := start(t, before(t, peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Errorf("%s: %v", r.URL, err)
+		}
+		if r.Method == "HEAD" {
+			w.Header().Set("Content-Length", "7")
+			return
+		}
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+	})))
+	head := func(target string, lines ...string) string {
+		return "POST " + target + " HTTP/1.1\r\nHost: origin.svc\r\nX-Qos: pay\r\n" + strings.Join(append(lines, "\r\n"), "\r\n")
+	}
+	get := "GET /look/9?q HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: 9\r\n\r\n"
+	for _, tc := range []struct {
+		name, text string
+		want       []string
+	}{
+		{"chunks", head("/pay/1", "X-Trace-Id: 1", "Transfer-Encoding: chunked") + "3;a=\"b\"\r\nabc\r\n002\r\nde\r\n0\r\nX-Sum: 1\r\n\r\n", []string{"POST /pay/1 abcde"}},
+		{"absolute", head("http://origin.svc/pay/2?x=1", "X-Trace-Id: 2", "Content-Length: 2") + "ab", []string{"POST /pay/2?x=1 ab"}},
+		{"expectation", head("/pay/3", "X-Trace-Id: 3", "Content-Length: 2", "Expect: 100-continue") + "ab", []string{"", "POST /pay/3 ab"}},
+		{"one behind another", head("/pay/4", "X-Trace-Id: 4", "Content-Length: 2") + "ab" + get, []string{"POST /pay/4 ab", "GET /look/9?q "}},
+		{"behind chunks", head("/pay/5", "X-Trace-Id: 5", "Transfer-Encoding: chunked") + "1\r\nz\r\n0\r\n\r\n" + get, []string{"POST /pay/5 z", "GET /look/9?q "}},
+		{"old", "GET /look/6 HTTP/1.0\r\nX-Trace-Id: 6\r\n\r\n", []string{"GET /look/6 "}},
+		{"head", "HEAD /look/7 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: 7\r\n\r\n" + get, []string{"", "GET /look/9?q "}},
+	} {
+		for _, piece := range []int{len(tc.text), 1} {
+			c, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				for text := tc.text; text != ""; text = text[min(piece, len(text)):] {
+					io.WriteString(c, text[:min(piece, len(text))])
+				}
+			}()
+			c.SetReadDeadline(time.Now().Add(peer.Soon))
+			r := bufio.NewReader(c)
+			for i, want := range tc.want {
+				q := &http.Request{Method: "GET"}
+				if i == 0 {
+					q.Method, _, _ = strings.Cut(tc.text, " ")
+				}
+				resp, err := http.ReadResponse(r, q)
+				if err != nil {
+					t.Fatalf("%s in pieces of %d: %v", tc.name, piece, err)
+				}
+				got, err := io.ReadAll(resp.Body)
+				if string(got) != want || err != nil || resp.StatusCode != 200 && resp.StatusCode != 100 {
+					t.Errorf("%s in pieces of %d: %d %q %v, want %q", tc.name, piece, resp.StatusCode, got, err, want)
+				}
+			}
+			c.Close()
+		}
+	}
+}
+
+// Answers as endpoints word them: what is whole is passed on unchanged; what is not whole is never shown as if it were.
+func TestAnswerForms(t *testing.T) {
+	long := string(pattern(200 << 10))
+	for _, tc := range []struct {
+		name, text, want string
+		cut              bool // the client must see that it is not whole
+	}{
+		{"ended by close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", "abc", false},
+		{"long, ended by close", "HTTP/1.1 200 OK\r\n\r\n" + long, long, false},
+		{"chunks with extensions and a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nab\r\n1\r\nc\r\n0\r\nX-Sum: 3\r\n\r\n", "abc", false},
+		{"1xx ahead", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc", false},
+		{"long chunk", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), long, false},
+		{"long, cut", "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + long, "", true},
+		{"long chunk, cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n" + long, "", true},
+	} {
+		var tries atomic.Int32
+		endpoint := func() string {
+			return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := peer.Take(r); err == nil {
+					tries.Add(1)
+					io.WriteString(c, tc.text)
+				}
+			})
+		}
+		s := start(t, before(t, endpoint(), endpoint()))
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		look(900).Write(c)
+		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		r := bufio.NewReader(c)
+		var got []byte
+		resp, err := http.ReadResponse(r, nil)
+		for err == nil && resp.StatusCode < 200 {
+			resp, err = http.ReadResponse(r, nil)
+		}
+		if err == nil {
+			got, err = io.ReadAll(resp.Body)
+		}
+		if tc.cut != (err != nil) || !tc.cut && (resp.StatusCode != 200 || string(got) != tc.want) {
+			t.Errorf("%s: %d bytes, %v", tc.name, len(got), err)
+		}
+		if n := tries.Load(); n != 1 {
+			t.Errorf("%s: %d attempts; what has begun is not tried again", tc.name, n)
+		}
+		c.Close()
+	}
+}
+
+// Bodies far larger than what is held go through in both directions, with a length and without.
+func TestLargeBothWays(t *testing.T) {
+	s := start(t, before(t, peer.Web(t, echo)))
+	body := pattern(8 << 20)
+	for _, sized := range []bool{true, false} {
+		r := request("POST", "/pay", "pay", 900, "x")
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		if !sized {
+			r.ContentLength = -1
+		}
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		go r.Write(c)
+		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		resp, err := http.ReadResponse(bufio.NewReader(c), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, body) {
+			t.Errorf("sized %v: %s, %d bytes, %v", sized, resp.Status, len(got), err)
+		}
+	}
+	f, open := s.parts.front.Figures()
+	if f[2].Fulfilled != 2 || s.parts.pool.Relayed() != 2 {
+		t.Errorf("figures: %+v, %d open, %d relayed", f, open, s.parts.pool.Relayed())
+	}
+}
+
+// The first bytes of a large answer go on before the rest is there, and a small one that comes slower than an attempt is
+// usually waited for is neither cut off nor asked for twice.
+func TestSlowIsNotSilent(t *testing.T) {
+	seen, tries := make(chan struct{}), atomic.Int32{}
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		tries.Add(1)
+		flush := http.NewResponseController(w).Flush
+		if r.URL.Path == "/look/large" {
+			w.Header().Set("Content-Length", fmt.Sprint(128<<10))
+			w.Write(pattern(1 << 10))
+			flush()
+			<-seen
+			w.Write(pattern(127 << 10))
+			return
+		}
+		w.Header().Set("Content-Length", "1024")
+		for range 16 { // 400 ms in all; a silent one is given up after 50
+			w.Write(pattern(64))
+			flush()
+			time.Sleep(25 * time.Millisecond)
+		}
+	}
+	s := start(t, before(t, peer.Web(t, handle), peer.Web(t, handle)))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	request("GET", "/look/large", "look", 900, "").Write(c)
+	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 1<<10)); err != nil {
+		t.Fatal("the first bytes did not come:", err)
+	}
+	close(seen)
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) != 127<<10 {
+		t.Errorf("the rest: %d bytes, %v", len(rest), err)
+	}
+	tries.Store(0)
+	if resp, body := s.ask(t, request("GET", "/look/small", "look", 900, "")); resp.StatusCode != 200 || len(body) != 1024 || tries.Load() != 1 {
+		t.Errorf("%s, %d bytes, %d attempts", resp.Status, len(body), tries.Load())
+	}
+}
+
+// A body that comes slowly is waited for, and the endpoint that takes it is not held for stuck meanwhile.
+func TestSlowUpload(t *testing.T) {
+	s := start(t, before(t, peer.Web(t, echo)))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /pay HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 77\r\nX-Qos: pay\r\nX-Expires-In-Ms: 300\r\nContent-Length: 98304\r\n\r\n")
+	for range 6 { // 600 ms: more than the client waits for the answer, which counts from the last byte
+		c.Write(pattern(16 << 10))
+		time.Sleep(100 * time.Millisecond)
+		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+			t.Error("beside an upload:", resp.Status)
+		}
+	}
+	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || len(got) != 96<<10 {
+		t.Errorf("%s, %d bytes, %v", resp.Status, len(got), err)
+	}
+}
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -28,15 +29,21 @@
 	Sized             bool        // a Content-Length is told even where there is no body
 	Stream            *Stream     // the rest of the body; nil is none
 	Rules             *Rules
+	Wait              time.Duration // for an answer, once the last byte of a body that streams has gone; 0 is Rules.Wait
 }
 
+// wait is how long an answer is waited for after a body that streams.
+func (q *Request) wait() time.Duration { return cmp.Or(q.Wait, q.Rules.Wait) }
+
 // Rules say what an endpoint's answers mean, and what bounds them.
 type Rules struct {
 	Failure [600]bool // these statuses count as an error of the endpoint
 	Full    [600]bool // and these, with Retry-After, as turned away unseen
+	Own     bool      // a client is answered by us where an endpoint's answer is no success: its body is of no use
 	Unsafe  bool      // what may have run must not be sent again: what would be turned away counts as an error
 
 	Hold     int64         // an answer of so many bytes, which is whole soon, is held and goes on in one piece
+	Patient  bool          // one of a length that is held is waited for however slow it comes
 	Most     int64         // a larger answer is broken off; 0 is no bound
 	Idle     time.Duration // an answer or a body that streams says something within this
 	Whole    time.Duration // and is whole within this; 0 is no bound
@@ -168,7 +175,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	e := &whole{pool: p, c: c, q: q, t: t}
+	if q.Stream != nil && q.Wait > 0 {
+		left = min(left, q.Wait.Milliseconds())
+	}
 	r, keep := e.run(ctx, q.bytes(left))
+	r.From = e.wrote.Load()
 	if q.Stream != nil {
 		q.Stream.finish(e)
 		keep = keep && q.Stream.Body.Done()
@@ -188,6 +199,7 @@
 	q       *Request
 	t       *core.Try
 	writing chan struct{} // closed once the body that streams has been written, or not
+	wrote   atomic.Int64  // when its last byte was; 0 is not yet
 
 	mu       sync.Mutex
 	answered bool // or never will be
@@ -240,9 +252,15 @@
 	r.Status = q.Rules.status(a)
 	r.Load = e.load(a)
 	r.Answer = a
+	r.From = e.wrote.Load()
+	if q.Rules.Own && r.Status != balancer.OK {
+		r.Answer = nil
+		whole, err := e.hold(a, message.NewBody(c.r, a.Framing), false)
+		return r, whole && err == nil && !last
+	}
 	began := r.At
 	body := message.NewBody(c.r, a.Framing)
-	whole, err := e.hold(a, body)
+	whole, err := e.hold(a, body, q.Rules.Patient)
 	if err != nil {
 		return p.ended(balancer.Reset), false
 	}
@@ -325,8 +343,9 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.c.SetWriteDeadline(time.Time{})
-			if !e.answered && e.q.Rules.Wait > 0 {
-				e.c.SetReadDeadline(time.Now().Add(e.q.Rules.Wait))
+			e.wrote.Store(e.pool.o.Clock.Now())
+			if wait := e.q.wait(); !e.answered && wait > 0 {
+				e.c.SetReadDeadline(time.Now().Add(wait))
 			}
 			return true
 		case err != nil:
@@ -404,8 +423,9 @@
 	return true
 }
 
-// hold reads as much of an answer as is held, and says whether that is all.
-func (e *whole) hold(a *Whole, body *message.Body) (bool, error) {
+// hold reads as much of an answer as is held, and says whether that is all. With patience one of a known length is waited
+// for until the attempt's time is up.
+func (e *whole) hold(a *Whole, body *message.Body, patient bool) (bool, error) {
 	if body.Done() {
 		return true, nil
 	}
@@ -433,6 +453,9 @@
 		switch {
 		case err == io.EOF:
 			return true, nil
+		case isTimeout(err) && patient && a.Framing.Kind == message.Sized && len(a.Held) > 0:
+			e.t.Heard() // it is slow, but not silent
+			until = time.Time{}
 		case isTimeout(err):
 			return false, nil
 		case err != nil:
