--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -534,7 +534,7 @@
 			b.pool = slices.Delete(b.pool, 0, 1)
 		}
 		b.pool = append(b.pool, e)
-		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
+		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.working()
 		usual := &b.usual
 		if e.cold(now, b) {
 			usual = &b.usualCold
@@ -579,11 +579,11 @@
 func (b *Balancer) load(now Micros, e *endpoint) float64 {
 	usual := b.usualLoad(now, e)
 	if b.reportsLate || !e.hasLoad {
-		return usual + float64(e.inflight)
+		return usual + e.working()
 	}
 	told := math.Exp(-(float64(now-e.answerAt) + b.refresh()/2) / (memory * b.work.v))
-	return usual + (e.others-usual)*told + float64(e.inflight) +
-		min(crowdMost, float64(b.s.Balancers-1)/2)*float64(max(0, e.inflight-e.ownAt))
+	return usual + (e.others-usual)*told + e.working() +
+		min(crowdMost, float64(b.s.Balancers-1)/2)*max(0, e.working()-e.ownAt)
 }
 
 // usualLoad is what others usually hold at an endpoint like e. Cold ones hold little, since all
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -126,7 +126,7 @@
 	hasLoad   bool
 	answerAt  Micros  // latest probe answer with a load figure
 	others    float64 // load of others when it answered
-	ownAt     int     // own in flight then
+	ownAt     float64 // own at work there then
 	rtt       ewma
 
 	pace   ewma // time taken per work and crowding
@@ -229,6 +229,10 @@
 // in says whether e may get anything new.
 func (e *endpoint) in() bool { return e.State == Ready && !e.banned }
 
+// working is how many of our own attempts e may be working on: not those on which bytes flow, which it has
+// answered or not begun with.
+func (e *endpoint) working() float64 { return float64(e.inflight - e.streams) }
+
 // warmth is the least share of its capacity that e has by now.
 func (e *endpoint) warmth(now Micros, b *Balancer) float64 {
 	if !e.cold(now, b) {
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -29,8 +29,14 @@
 	}
 	// The collector works harder well before the limit at which we would be killed.
 	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	// To the very end: who has handed over ends by itself, and the platform's SIGTERM may come at that moment.
+	stop, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+	}()
 	if err := sidecar.Run(stop, config, reload, read, log); err != nil {
 		log.Error("ended", "error", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -0,0 +1,478 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/decide/bans"
+	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/standin/port"
+	"dunlinsail/internal/takeover"
+)
+
+// within is how long the platform waits for a new process.
+const within = 6 * time.Second
+
+// host is what the platform holds for one sidecar: the clients' listening socket and a folder.
+type host struct {
+	t      *testing.T
+	ln     *os.File
+	addr   string
+	dir    string
+	config string
+	to     [2]atomic.Int64 // requests at the endpoints s-0 and s-1
+	hold   atomic.Pointer[chan struct{}]
+}
+
+func newHost(t *testing.T) *host {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	h := &host{t: t, ln: f, addr: ln.Addr().String(), dir: t.TempDir()}
+	var list []string
+	for i := range h.to {
+		addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+			if h.to[i].Add(1); r.URL.Path == "/pay/held" {
+				<-*h.hold.Load()
+			}
+			io.Copy(w, r.Body)
+			io.WriteString(w, "ok")
+		})
+		list = append(list, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"%s","lifecycle":"up"}`, i, addr))
+	}
+	text := strings.Replace(config, `{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"up"}`, strings.Join(list, ","), 1)
+	text = strings.Replace(text, `"classes":[`, `"classes":[{"name":"pay","repeat":"side_effect","target":500000,"give-up":9000000,"credit":5.0},`, 1)
+	h.config = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(h.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// process is one version of the sidecar.
+type process struct {
+	h     *host
+	cmd   *exec.Cmd
+	desk  string
+	log   bytes.Buffer
+	ended chan error
+}
+
+// start starts a process without waiting for it.
+func (h *host) start() *process { return h.startAs(os.Args[0]) }
+
+func (h *host) startAs(program string) *process {
+	h.t.Helper()
+	desk, err := port.Free()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	p := &process{h: h, desk: desk, cmd: exec.Command(program), ended: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_LISTEN="+h.addr, "ROUTER_OPERATOR="+desk,
+		"ROUTER_INHERITED_FD=3", "TMPDIR="+h.dir)
+	p.cmd.ExtraFiles = []*os.File{h.ln}
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		h.t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	h.t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// call makes an operator's call.
+func (p *process) call(method, path, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+p.desk+path, strings.NewReader(body))
+	if err != nil {
+		p.h.t.Fatal(err)
+	}
+	resp, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+func (p *process) byHand(word, target string) {
+	p.h.t.Helper()
+	if code, text := p.call("POST", "/endpoints/"+word, `{"target":"`+target+`"}`); code != 200 {
+		p.h.t.Fatalf("%s %s: %d %s", word, target, code, text)
+	}
+}
+
+// ready waits until a process takes clients.
+func (p *process) ready() *process {
+	p.h.t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		if code, _ := p.call("GET", "/ready", ""); code == 200 {
+			return p
+		}
+		select {
+		case err := <-p.ended:
+			p.h.t.Fatalf("ended: %v\n%s", err, p.log.String())
+		default:
+		}
+		if time.Now().After(end) {
+			p.cmd.Process.Kill()
+			<-p.ended
+			p.h.t.Fatalf("not ready within %v:\n%s", within, p.log.String())
+		}
+	}
+}
+
+// ends waits for a process that has been told to end, or has handed over.
+func (p *process) ends() {
+	p.h.t.Helper()
+	if err := peer.Within(p.h.t, p.ended, "end"); err != nil {
+		p.h.t.Errorf("ended with %v\n%s", err, p.log.String())
+	}
+}
+
+var ids atomic.Int64
+
+func head(method, path, more string) string {
+	class, _, _ := strings.Cut(path[1:], "/")
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %d\r\nX-Qos: %s\r\n%s\r\n", method, path, ids.Add(1), class, more)
+}
+
+// ask sends a request on a connection and returns the answer's status.
+func ask(c net.Conn, r *bufio.Reader, text string) (int, error) {
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+func (h *host) once() {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer c.Close()
+	if code, err := ask(c, bufio.NewReader(c), head("GET", "/look/1", "")); code != 200 {
+		h.t.Fatalf("answered %d, %v", code, err)
+	}
+}
+
+// load has clients ask all the time, each on a connection that it keeps and every fourth time on a new one, until the
+// returned function is called. It returns how many asked, and fails the test for each that was not served.
+func (h *host) load(clients int) (stop func() int64) {
+	var done atomic.Bool
+	var asked atomic.Int64
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			var c net.Conn
+			var r *bufio.Reader
+			for n := 0; !done.Load(); n++ {
+				if n%4 == 0 {
+					if c != nil {
+						c.Close()
+					}
+					var err error
+					if c, err = net.Dial("tcp", h.addr); err != nil {
+						h.t.Error("at the door:", err)
+						return
+					}
+					r = bufio.NewReader(c)
+				}
+				asked.Add(1)
+				// Unsafe, so that none is given up and asked for elsewhere because the machine is slow.
+				if code, err := ask(c, r, head("POST", "/pay/1", "Content-Length: 0\r\n")); code != 200 {
+					h.t.Errorf("answered %d, %v", code, err)
+					return
+				}
+			}
+			c.Close()
+		})
+	}
+	return func() int64 {
+		done.Store(true)
+		all.Wait()
+		return asked.Load()
+	}
+}
+
+// Three versions follow one another under load: nobody is turned away at the door, a request half sent and one whose answer is
+// waited for are answered, kept connections go on, and an endpoint that is out stays out until it is let in again.
+func TestUpgrades(t *testing.T) {
+	h := newHost(t)
+	hold := make(chan struct{})
+	h.hold.Store(&hold)
+	one := h.start().ready()
+	stop := h.load(6)
+	one.byHand("disable", "s-0")
+	one.byHand("disable", "s-0")
+	if code, text := one.call("POST", "/endpoints/disable", `{"target":"s-9"}`); code != 404 {
+		t.Errorf("an id that nobody has: %d %s", code, text)
+	}
+	time.Sleep(50 * time.Millisecond) // what was on its way has arrived
+	before := h.to[0].Load()
+	old := one
+	for range 2 {
+		half, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer half.Close()
+		text := head("GET", "/look/1", "")
+		io.WriteString(half, text[:len(text)/2])
+		held, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer held.Close()
+		at := h.to[1].Load()
+		answered := make(chan int, 1)
+		go func() {
+			code, _ := ask(held, bufio.NewReader(held), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+			answered <- code
+		}()
+		peer.Eventually(t, "requests at the endpoint", func() bool { return h.to[1].Load() > at+1 })
+		next := h.start().ready()
+		old.cmd.Process.Signal(syscall.SIGTERM)
+		hold <- struct{}{}
+		if code := peer.Within(t, answered, "answer to the one that was held"); code != 200 {
+			t.Errorf("held over the upgrade: %d", code)
+		}
+		if code, err := ask(half, bufio.NewReader(half), text[len(text)/2:]); code != 200 {
+			t.Errorf("half sent before the upgrade: %d %v", code, err)
+		}
+		half.Close()
+		held.Close()
+		old.ends()
+		old = next
+	}
+	if n := h.to[0].Load() - before; n != 0 {
+		t.Errorf("%d requests to the endpoint that was out", n)
+	}
+	var figures string
+	if _, figures = old.call("GET", "/metrics", ""); !strings.Contains(figures, "registry_entries=2\nout_of_rotation=1\n") {
+		t.Errorf("figures:\n%s", figures)
+	}
+	old.byHand("enable", "s-0")
+	peer.Eventually(t, "requests to the one that is in again", func() bool { return h.to[0].Load() > before })
+	if n := stop(); n < 20 {
+		t.Errorf("%d requests in all", n)
+	}
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	old.ends()
+}
+
+// The old process stands still, or was killed and its socket is left: the new one serves in time, with what was said by hand.
+func TestOldOneIsLost(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			old := h.start().ready()
+			h.once()
+			old.byHand("disable", "s-0")
+			old.cmd.Process.Signal(signal)
+			if signal == syscall.SIGKILL {
+				<-old.ended
+			}
+			next := h.start().ready()
+			if signal == syscall.SIGSTOP {
+				old.cmd.Process.Signal(syscall.SIGKILL) // who waits in its hands is lost, whatever we do
+				<-old.ended
+			}
+			before := h.to[0].Load()
+			for range 20 {
+				h.once()
+			}
+			if h.to[0].Load() != before {
+				t.Error("the endpoint that was out got requests")
+			}
+			next.byHand("enable", "s-0")
+		})
+	}
+}
+
+// The new process is lost at each step: the old one goes on as if it had never been asked, and the next one takes over.
+func TestNewOneIsLost(t *testing.T) {
+	for steps := range 4 {
+		t.Run(fmt.Sprint(steps), func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			old := h.start().ready()
+			stop := func() int64 { return 0 }
+			if steps < 3 { // from Yours on, connections are in the hands of the one that is lost
+				stop = h.load(2)
+			}
+			c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			say := [...]decide.Event{decide.Hello, decide.Ready, decide.Prepared}
+			for _, kind := range say[:steps] {
+				m := takeover.Message{Kind: kind}
+				if kind == decide.Hello {
+					m.Text = fmt.Append(nil, decide.Version)
+				}
+				if err := c.Write(m); err != nil {
+					t.Fatal(err)
+				}
+				got, err := c.ReadWithin(peer.Soon)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got.CloseFiles()
+			}
+			c.Close()
+			peer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
+			h.once()
+			h.start().ready()
+			old.cmd.Process.Signal(syscall.SIGTERM)
+			old.ends()
+			stop()
+		})
+	}
+}
+
+// What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step: the new process
+// serves in time and does not end for it.
+func TestOldOneGarbles(t *testing.T) {
+	for name, answers := range map[string][]takeover.Message{
+		"says nothing":       {},
+		"refuses":            {{Kind: decide.Refused, Text: []byte("version 0")}},
+		"garbled offer":      {{Kind: decide.Offer, Text: []byte("DLSS and then no sense")}},
+		"silent after Ready": {{Kind: decide.Offer}, {}},
+		"garbled at the end": {{Kind: decide.Offer}, {Kind: decide.Go, Text: []byte("{")}},
+		"unknown messages":   {{Kind: 77, Text: []byte("?")}, {Kind: 99}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			words, err := json.Marshal([]bans.Word{{Name: "s-0", Out: true, At: 1}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(filepath.Join(h.dir, "dunlinsail.words"), words, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			over := make(chan struct{})
+			go func() {
+				defer close(over)
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				for i := 0; ; i++ {
+					m, err := c.Read()
+					if err != nil {
+						return
+					}
+					m.CloseFiles()
+					if i < len(answers) && answers[i].Kind != decide.Hello {
+						c.Write(answers[i])
+					}
+				}
+			}()
+			p := h.start().ready()
+			for range 5 {
+				h.once()
+			}
+			if h.to[0].Load() != 0 {
+				t.Error("the endpoint that was out got requests")
+			}
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.ends()
+			peer.Within(t, over, "hanging up")
+		})
+	}
+}
+
+// A word said to either of two processes that are both alive holds in both.
+func TestWordsWhileBothLive(t *testing.T) {
+	h := newHost(t)
+	hold := make(chan struct{})
+	h.hold.Store(&hold)
+	old := h.start().ready()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answered := make(chan int, 1)
+	go func() { // it keeps the old process alive
+		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+		answered <- code
+	}()
+	peer.Eventually(t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+	next := h.start().ready()
+	out := func(p *process, want int) {
+		t.Helper()
+		peer.Eventually(t, "the same in both", func() bool {
+			_, text := p.call("GET", "/metrics", "")
+			return strings.Contains(text, fmt.Sprintf("out_of_rotation=%d\n", want))
+		})
+	}
+	old.byHand("disable", "s-0")
+	out(next, 1)
+	next.byHand("enable", "s-0")
+	out(old, 0)
+	next.byHand("disable", "s-1")
+	out(old, 1)
+	close(hold)
+	if code := peer.Within(t, answered, "answer"); code != 200 {
+		t.Errorf("held over the upgrade: %d", code)
+	}
+	old.ends()
+}
+
+// What is inherited must be a listening stream socket.
+func TestInheritedSocket(t *testing.T) {
+	h := newHost(t)
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	defer w.Close()
+	h.ln = r
+	p := h.start()
+	var exit *exec.ExitError
+	if err := peer.Within(t, p.ended, "end"); !errors.As(err, &exit) || !strings.Contains(p.log.String(), "no listening stream socket") {
+		t.Errorf("%v\n%s", err, p.log.String())
+	}
+}
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -26,6 +26,9 @@
 	// drainTime bounds what is open when another process serves, or none is to: longer than any request's time, and than
 	// most answers that stream. The platform kills the process before that.
 	drainTime = 30 * time.Second
+	// settleTime is how long a giver outlives its word that the taker is to accept, with nothing left to do: should the taker end
+	// in that step, it serves on. The platform leaves it 0.7 s.
+	settleTime = 500 * time.Millisecond
 )
 
 // meetingPlace is the socket, in the folder that two versions of a sidecar share, at which the one that serves listens for
@@ -438,7 +441,11 @@
 			to := l.to
 			l.s.pool.Idle(false) // the descriptors are the taker's now
 			l.s.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
-			l.drained()
+			l.after(settleTime, func() {
+				if l.to == to { // else it is served again, or ends otherwise
+					l.drained()
+				}
+			})
 		case decide.Drain:
 			l.drain()
 		case decide.Finish:
@@ -493,18 +500,22 @@
 		l.accept()
 		l.s.accepting.Store(false)
 	}
+	l.after(acceptFor, func() {
+		l.ln.Close()
+		// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
+		l.s.front.Quiesce()
+		l.drained()
+	})
+}
+
+// after posts an event in a while.
+func (l *course) after(d time.Duration, event func()) {
 	l.beside.Go(func() {
 		select {
-		case <-time.After(acceptFor):
+		case <-time.After(d):
+			l.post(event)
 		case <-l.over:
 		}
-		l.post(func() {
-			l.setDeadline(time.Unix(1, 0)) // the socket may be the platform's: closing our own descriptor would not do
-			l.ln.Close()
-			// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
-			l.s.front.Quiesce()
-			l.drained()
-		})
 	})
 }
 
