Count an operators' caller out when it gives way, and let the ninth wait in the queue

Change: whoever gives way is out of the count at once; where all eight are being answered, the next waits in the socket's queue instead of being closed.

--- a/internal/operators/callers.go
+++ b/internal/operators/callers.go
@@ -10,13 +10,21 @@
 	"time"
 )
 
-// callers bounds who is connected: who has said nothing whole for longest gives way to the next.
+// callers bounds who is connected: who has said nothing whole for longest gives way to the next. Where all are being
+// answered, the next waits in the socket's queue.
 type callers struct {
 	net.Listener
 
-	mu      sync.Mutex
-	all     int
-	waiting []net.Conn // without a whole call, the longest first
+	mu       sync.Mutex
+	left     sync.Cond  // somebody is gone
+	waiting  []net.Conn // without a whole call, the longest first
+	answered []net.Conn // with one
+}
+
+func newCallers(ln net.Listener) *callers {
+	k := &callers{Listener: ln}
+	k.left.L = &k.mu
+	return k
 }
 
 // acceptWait is how long a failure to accept is waited over: no descriptor may be left for a moment.
@@ -26,29 +34,23 @@
 func (k *callers) Accept() (net.Conn, error) {
 	for {
 		c, err := k.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil, err
+		if err == nil {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			for len(k.answered) >= callersMost {
+				k.left.Wait()
+			}
+			if len(k.waiting)+len(k.answered) >= callersMost {
+				k.waiting[0].Close()
+				k.waiting = k.waiting[1:]
 			}
-			time.Sleep(acceptWait)
-			continue
-		}
-		k.mu.Lock()
-		if k.all >= callersMost && len(k.waiting) > 0 {
-			k.waiting[0].Close() // its end comes to state
-			k.waiting = k.waiting[1:]
-		}
-		full := k.all > callersMost // as many are being answered, and the last that gave way are not gone yet
-		if !full {
-			k.all++
 			k.waiting = append(k.waiting, c)
+			return c, nil
 		}
-		k.mu.Unlock()
-		if full {
-			c.Close()
-			continue
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
 		}
-		return c, nil
+		time.Sleep(acceptWait)
 	}
 }
 
@@ -57,8 +59,8 @@
 	if s == http.StateClosed {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.all--
-		k.leave(c)
+		k.waiting, k.answered = without(k.waiting, c), without(k.answered, c)
+		k.left.Signal()
 	}
 }
 
@@ -71,13 +73,14 @@
 
 // whole notes that a call has come whole: it is answered, and gives way to nobody.
 func (k *callers) whole(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(net.Conn); ok {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.leave(c)
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if slices.Contains(k.waiting, c) { // else it has given way already
+		k.waiting, k.answered = without(k.waiting, c), append(k.answered, c)
 	}
 }
 
-func (k *callers) leave(c net.Conn) {
-	k.waiting = slices.DeleteFunc(k.waiting, func(o net.Conn) bool { return o == c })
+func without(all []net.Conn, c net.Conn) []net.Conn {
+	return slices.DeleteFunc(all, func(o net.Conn) bool { return o == c })
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -43,7 +43,7 @@
 
 // Serve answers calls until ln is closed.
 func Serve(ln net.Listener, d Desk) error {
-	mux, callers := http.NewServeMux(), &callers{Listener: ln}
+	mux, callers := http.NewServeMux(), newCallers(ln)
 	handle := func(method, path string, f func(ctx context.Context, w http.ResponseWriter, body []byte)) {
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 			if r.Method != method {
