Share what brings a takeover's events together between the daemon and the sidecar

Need: the sidecar's course and the daemon's life had the same loop, reader, timer and greeting, written twice. Change: takeover.Loop, Greeting and Unwelcome hold them once; each host keeps what it does of its own.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -179,7 +179,7 @@
 	p.start(p.next)
 	from := p.now
 	go func() {
-		if !from.post(func() { from.meet(giver) }) {
+		if !from.loop.Post(func() { from.meet(giver) }) {
 			giver.Close()
 		}
 	}()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -24,9 +23,8 @@
 // in another process or in this one. Its fields belong to the goroutine in run; others use events.
 type life struct {
 	*generation
-	stop   context.Context
-	events chan func()
-	over   chan struct{} // closed once no event is taken any more
+	stop context.Context
+	loop *takeover.Loop
 
 	began func()         // called once it accepts
 	busy  func(yes bool) // called when it begins to hand over, and when nothing comes of that
@@ -49,7 +47,6 @@
 	emptied bool           // no connection is served, and our own giver may hand some over yet
 	waiting context.CancelFunc
 
-	wake   *time.Timer
 	result error
 	ended  bool
 }
@@ -67,22 +64,23 @@
 	t := d.o.Config.Takeover
 	times := decide.Times{Ready: clock.Micros(t.ReadyWithin.Duration), Answer: clock.Micros(answerTime),
 		Drain: clock.Micros(t.DrainWithin.Duration)}
-	return &life{generation: d, stop: stop, events: make(chan func()), over: make(chan struct{}), from: giver, bound: giver != nil,
+	l := &life{generation: d, stop: stop, from: giver, bound: giver != nil,
 		began: func() {}, busy: func(bool) {}, taker: decide.Taker{Times: times}, giver: decide.Giver{Times: times}}
+	l.loop = takeover.NewLoop(l.woken)
+	return l
 }
 
 // run takes over or starts cold, serves, and ends.
 func (l *life) run() error {
-	l.wake = time.AfterFunc(time.Hour, func() { l.post(l.woken) })
 	defer l.finish()
 	if err := l.begin(); err != nil {
 		return err
 	}
 	stopped := l.stop.Done()
 	for !l.ended {
-		l.arm()
+		l.loop.Arm(l.taker.Deadline(), l.giver.Deadline())
 		select {
-		case event := <-l.events:
+		case event := <-l.loop.Events:
 			event()
 		case <-stopped:
 			stopped = nil
@@ -94,8 +92,7 @@
 
 // finish gives everything back, whatever came before.
 func (l *life) finish() {
-	close(l.over)
-	l.wake.Stop()
+	l.loop.End()
 	if l.waiting != nil {
 		l.waiting()
 	}
@@ -117,31 +114,11 @@
 		nc.Close()
 	}
 	l.generation.end()
-}
-
-// post hands an event to run, and says whether it has been taken: after its end there is nobody to tell.
-func (l *life) post(event func()) bool {
-	select {
-	case l.events <- event:
-		return true
-	case <-l.over:
-		return false
-	}
+	l.loop.Beside.Wait()
 }
 
 func now() decide.Micros { return takeover.Monotonic() }
 
-// arm sets the timer to the next deadline of either side.
-func (l *life) arm() {
-	next := l.taker.Deadline()
-	if d := l.giver.Deadline(); d != 0 && (next == 0 || d < next) {
-		next = d
-	}
-	if next != 0 {
-		l.wake.Reset(max(0, clock.Duration(next-now())))
-	}
-}
-
 func (l *life) woken() {
 	l.takerStep(decide.Wake, "")
 	l.giverStep(decide.Wake)
@@ -170,7 +147,7 @@
 	path := l.o.Config.Takeover.Socket
 	if l.from != nil {
 		l.log.Info("taking over in this process")
-		l.read(l.from, l.fromGiver)
+		l.loop.Read(l.from, l.fromGiver)
 		l.takerSteps(l.taker.Begin(now()))
 		return nil
 	}
@@ -187,27 +164,11 @@
 	}
 	l.from = c
 	l.log.Info("taking over", "socket", path)
-	l.read(c, l.fromGiver)
+	l.loop.Read(c, l.fromGiver)
 	l.takerSteps(l.taker.Begin(now()))
 	return nil
 }
 
-// read passes a connection's messages on as events, and its end.
-func (l *life) read(c *takeover.Conn, got func(c *takeover.Conn, m takeover.Message)) {
-	l.beside.Go(func() {
-		for {
-			m, err := c.Read()
-			if err != nil {
-				m = takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}
-			}
-			l.post(func() { got(c, m) })
-			if err != nil {
-				return
-			}
-		}
-	})
-}
-
 // ---- Taking over -----------------------------------------------------------
 
 func (l *life) fromGiver(c *takeover.Conn, m takeover.Message) {
@@ -245,7 +206,7 @@
 		case decide.Send:
 			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
 			if s.Message == decide.Hello {
-				m.Text = fmt.Appendf(nil, "%d", decide.Version)
+				m = takeover.Greeting()
 			}
 			l.from.Write(m) // a failure shows as the connection's end
 		case decide.Hang:
@@ -335,7 +296,7 @@
 	l.waiting = cancel
 	l.beside.Go(func() {
 		if l.core.Wait(ctx) == nil {
-			l.post(func() {
+			l.loop.Post(func() {
 				l.started = true
 				l.takerStep(decide.Started, "")
 			})
@@ -466,7 +427,7 @@
 		m, err := c.ReadWithin(answerTime)
 		end()
 		m.CloseFiles()
-		if err != nil || !l.post(func() { l.begins(c, m) }) {
+		if err != nil || !l.loop.Post(func() { l.begins(c, m) }) {
 			c.Close()
 		}
 	})
@@ -474,23 +435,18 @@
 
 // begins begins with a taker, if there is none yet.
 func (l *life) begins(c *takeover.Conn, m takeover.Message) {
-	refuse := func(why string) {
-		l.log.Warn("a process that wants to take over is turned away", "reason", why)
-		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte(why)})
-		c.Close()
+	why := takeover.Unwelcome(m)
+	if why == "" && l.to != nil {
+		why = "another takeover is under way"
 	}
-	switch {
-	case m.Kind != decide.Hello:
-		refuse("that is no takeover")
-	case string(m.Text) != fmt.Sprint(decide.Version):
-		refuse(fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text))
-	case l.to != nil:
-		refuse("another takeover is under way")
-	default:
-		l.to = c
-		l.read(c, l.fromTaker)
-		l.giverStep(decide.Hello)
+	if why != "" {
+		l.log.Warn("a process that wants to take over is turned away", "reason", why)
+		c.Refuse(why)
+		return
 	}
+	l.to = c
+	l.loop.Read(c, l.fromTaker)
+	l.giverStep(decide.Hello)
 }
 
 func (l *life) fromTaker(c *takeover.Conn, m takeover.Message) {
@@ -568,8 +524,7 @@
 	}
 	if err := l.to.Write(m); err != nil {
 		l.log.Warn("takeover", "error", err)
-		c := l.to
-		go l.post(func() { l.fromTaker(c, takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}) })
+		l.loop.Broke(l.to, err, l.fromTaker)
 	}
 }
 
@@ -643,18 +598,12 @@
 	for _, ln := range l.listeners {
 		ln.accept(l.front) // it may have been paused for a taker that is gone; more than once is once
 	}
-	l.beside.Go(func() {
-		select {
-		case <-time.After(acceptFor):
-		case <-l.over:
+	l.loop.After(acceptFor, func() {
+		for _, ln := range l.listeners {
+			ln.close()
 		}
-		l.post(func() {
-			for _, ln := range l.listeners {
-				ln.close()
-			}
-			l.front.Quiesce()
-			l.drained()
-		})
+		l.front.Quiesce()
+		l.drained()
 	})
 }
 
@@ -664,7 +613,7 @@
 	l.waiting = cancel
 	l.beside.Go(func() {
 		if l.front.Wait(ctx) == nil {
-			l.post(func() {
+			l.loop.Post(func() {
 				if l.emptied = l.taker.Given(); !l.emptied {
 					l.giverStep(decide.Drained)
 				}
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -288,7 +288,7 @@
 	go func() {
 		err := errors.New("the daemon ends")
 		done := make(chan struct{})
-		if to.post(func() { err = to.apply(c); close(done) }) {
+		if to.loop.Post(func() { err = to.apply(c); close(done) }) {
 			<-done
 		}
 		p.post(func() { p.finish(err) })
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -40,12 +40,9 @@
 // the platform, and both processes have it: what is handed over is who accepts on it, what was learned and the clients'
 // connections. Its fields belong to the goroutine in run; others use events.
 type course struct {
-	s      *sidecar
-	ln     net.Listener
-	events chan func()
-	over   chan struct{} // closed once no event is taken any more
-	beside sync.WaitGroup
-	wake   *time.Timer
+	s    *sidecar
+	ln   net.Listener
+	loop *takeover.Loop
 
 	taker decide.Taker
 	from  *takeover.Conn // the giver; nil once there is none
@@ -68,25 +65,23 @@
 
 func newCourse(s *sidecar, ln net.Listener) *course {
 	times := decide.Times{Ready: clock.Micros(readyTime), Answer: clock.Micros(answerTime), Drain: clock.Micros(drainTime)}
-	return &course{s: s, ln: ln, events: make(chan func()), over: make(chan struct{}),
+	return &course{s: s, ln: ln,
 		taker: decide.Taker{Times: times, Sure: true}, giver: decide.Giver{Times: times}}
 }
 
 // run takes over or starts cold, serves, and ends.
 func (l *course) run(stop context.Context) error {
-	l.wake = time.AfterFunc(time.Hour, func() {
-		l.post(func() {
-			l.takerStep(decide.Wake, "")
-			l.giverStep(decide.Wake)
-		})
+	l.loop = takeover.NewLoop(func() {
+		l.takerStep(decide.Wake, "")
+		l.giverStep(decide.Wake)
 	})
 	defer l.finish()
 	l.begin()
 	stopped := stop.Done()
 	for !l.ended {
-		l.arm()
+		l.loop.Arm(l.taker.Deadline(), l.giver.Deadline())
 		select {
-		case event := <-l.events:
+		case event := <-l.loop.Events:
 			event()
 		case err := <-l.accepts:
 			l.accepts = nil
@@ -104,8 +99,7 @@
 }
 
 func (l *course) finish() {
-	close(l.over)
-	l.wake.Stop()
+	l.loop.End()
 	if l.waiting != nil {
 		l.waiting()
 	}
@@ -122,32 +116,11 @@
 		nc.Close()
 	}
 	l.s.front.Cut() // nothing is left, unless the start failed
-	l.beside.Wait()
-}
-
-// post hands an event to run, and says whether it has been taken: after its end there is nobody to tell.
-func (l *course) post(event func()) bool {
-	select {
-	case l.events <- event:
-		return true
-	case <-l.over:
-		return false
-	}
+	l.loop.Beside.Wait()
 }
 
 func now() decide.Micros { return takeover.Monotonic() }
 
-// arm sets the timer to the next deadline of either side.
-func (l *course) arm() {
-	next := l.taker.Deadline()
-	if d := l.giver.Deadline(); d != 0 && (next == 0 || d < next) {
-		next = d
-	}
-	if next != 0 {
-		l.wake.Reset(max(0, clock.Duration(next-now())))
-	}
-}
-
 func (l *course) end(err error) {
 	if !l.ended {
 		l.ended, l.result = true, err
@@ -169,7 +142,7 @@
 		if err == nil {
 			l.s.log.Info("taking over")
 			l.from = c
-			l.read(c, l.fromGiver)
+			l.loop.Read(c, l.fromGiver)
 			l.takerSteps(l.taker.Begin(now()))
 			return
 		}
@@ -188,24 +161,6 @@
 	l.serve()
 }
 
-// read passes a connection's messages on as events, and its end.
-func (l *course) read(c *takeover.Conn, got func(c *takeover.Conn, m takeover.Message)) {
-	l.beside.Go(func() {
-		for {
-			m, err := c.Read()
-			if err != nil {
-				m = takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}
-			}
-			if !l.post(func() { got(c, m) }) {
-				m.CloseFiles()
-			}
-			if err != nil {
-				return
-			}
-		}
-	})
-}
-
 // ---- Taking over -----------------------------------------------------------
 
 func (l *course) fromGiver(c *takeover.Conn, m takeover.Message) {
@@ -241,7 +196,7 @@
 		case decide.Send:
 			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
 			if s.Message == decide.Hello {
-				m.Text = fmt.Appendf(nil, "%d", decide.Version)
+				m = takeover.Greeting()
 			}
 			l.from.Write(m) // a failure shows as the connection's end
 		case decide.Hang:
@@ -280,9 +235,9 @@
 	l.speak(l.from)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
-	l.beside.Go(func() {
+	l.loop.Beside.Go(func() {
 		if s.core.Wait(ctx) == nil {
-			l.post(func() { l.takerStep(decide.Started, "") })
+			l.loop.Post(func() { l.takerStep(decide.Started, "") })
 		}
 	})
 }
@@ -327,7 +282,7 @@
 			l.s.log.Error("no process will be able to take over from this one", "error", err)
 		} else {
 			ln := l.takeLn
-			l.beside.Go(func() { l.meetAll(ln) })
+			l.loop.Beside.Go(func() { l.meetAll(ln) })
 		}
 	}
 	l.s.log.Info("serving", "name", l.s.config.Name, "listen", l.ln.Addr().String())
@@ -338,7 +293,7 @@
 	accepts := l.accepts
 	l.setDeadline(time.Time{})
 	l.s.accepting.Store(true)
-	l.beside.Go(func() { accepts <- l.s.front.Accept(l.ln, l.s.identify) })
+	l.loop.Beside.Go(func() { accepts <- l.s.front.Accept(l.ln, l.s.identify) })
 }
 
 // pause ends accept. Who connects from then on waits in the socket's queue.
@@ -366,10 +321,10 @@
 		if err != nil {
 			return
 		}
-		l.beside.Go(func() {
+		l.loop.Beside.Go(func() {
 			m, err := c.ReadWithin(answerTime)
 			m.CloseFiles()
-			if err != nil || !l.post(func() { l.meet(c, m) }) {
+			if err != nil || !l.loop.Post(func() { l.meet(c, m) }) {
 				c.Close()
 			}
 		})
@@ -378,23 +333,18 @@
 
 // meet begins with a taker, if there is none yet.
 func (l *course) meet(c *takeover.Conn, m takeover.Message) {
-	refuse := func(why string) {
+	why := takeover.Unwelcome(m)
+	if why == "" && l.to != nil {
+		why = "another takeover is under way"
+	}
+	if why != "" {
 		l.s.log.Warn("a process that wants to take over is turned away", "reason", why)
-		c.Write(takeover.Message{Kind: decide.Refused, Text: []byte(why)})
-		c.Close()
-	}
-	switch {
-	case m.Kind != decide.Hello:
-		refuse("that is no takeover")
-	case string(m.Text) != fmt.Sprint(decide.Version):
-		refuse(fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text))
-	case l.to != nil:
-		refuse("another takeover is under way")
-	default:
-		l.to = c
-		l.read(c, l.fromTaker)
-		l.giverStep(decide.Hello)
+		c.Refuse(why)
+		return
 	}
+	l.to = c
+	l.loop.Read(c, l.fromTaker)
+	l.giverStep(decide.Hello)
 }
 
 func (l *course) fromTaker(c *takeover.Conn, m takeover.Message) {
@@ -441,7 +391,7 @@
 			to := l.to
 			l.s.pool.Idle(false) // the descriptors are the taker's now
 			l.s.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
-			l.after(settleTime, func() {
+			l.loop.After(settleTime, func() {
 				if l.to == to { // else it is served again, or ends otherwise
 					l.drained()
 				}
@@ -479,10 +429,7 @@
 		l.s.log.Info("handed over", "waiting for", "open requests and connections")
 	}
 	if err := l.to.Write(m); err != nil {
-		c := l.to
-		l.beside.Go(func() {
-			l.post(func() { l.fromTaker(c, takeover.Message{Kind: decide.Broken, Text: []byte(err.Error())}) })
-		})
+		l.loop.Broke(l.to, err, l.fromTaker)
 	}
 }
 
@@ -500,7 +447,7 @@
 		l.accept()
 		l.s.accepting.Store(false)
 	}
-	l.after(acceptFor, func() {
+	l.loop.After(acceptFor, func() {
 		l.ln.Close()
 		// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
 		l.s.front.Quiesce()
@@ -508,24 +455,13 @@
 	})
 }
 
-// after posts an event in a while.
-func (l *course) after(d time.Duration, event func()) {
-	l.beside.Go(func() {
-		select {
-		case <-time.After(d):
-			l.post(event)
-		case <-l.over:
-		}
-	})
-}
-
 // drained tells once no connection is served any more, and none will be handed to us.
 func (l *course) drained() {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
-	l.beside.Go(func() {
+	l.loop.Beside.Go(func() {
 		if l.s.front.Wait(ctx) == nil {
-			l.post(func() {
+			l.loop.Post(func() {
 				if l.emptied = l.taker.Given(); !l.emptied {
 					l.giverStep(decide.Drained)
 				}
--- /dev/null
+++ b/internal/takeover/loop.go
@@ -0,0 +1,117 @@
+package takeover
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"dunlinsail/internal/clock"
+	decide "dunlinsail/internal/decide/takeover"
+)
+
+// Loop brings what happens in a takeover to the one goroutine that carries it out: messages, deadlines, and whatever else its
+// owner posts. Make one with NewLoop, and take its Events until End.
+type Loop struct {
+	Events chan func()
+	Beside sync.WaitGroup // what posts
+
+	over chan struct{} // closed once no event is taken any more
+	wake *time.Timer
+}
+
+// NewLoop returns a loop that posts woken whenever a deadline that was armed has come.
+func NewLoop(woken func()) *Loop {
+	l := &Loop{Events: make(chan func()), over: make(chan struct{})}
+	l.wake = time.AfterFunc(time.Hour, func() { l.Post(woken) })
+	return l
+}
+
+// Post hands an event to whoever takes them, and says whether it has been taken: after the end there is nobody to tell.
+func (l *Loop) Post(event func()) bool {
+	select {
+	case l.Events <- event:
+		return true
+	case <-l.over:
+		return false
+	}
+}
+
+// Over returns a channel that is closed once no event is taken any more.
+func (l *Loop) Over() <-chan struct{} { return l.over }
+
+// End ends the loop: no event is taken any more. What is beside it may still be at work.
+func (l *Loop) End() {
+	close(l.over)
+	l.wake.Stop()
+}
+
+// Arm has the loop woken at the next of some deadlines, of which 0 is none.
+func (l *Loop) Arm(deadlines ...decide.Micros) {
+	var next decide.Micros
+	for _, d := range deadlines {
+		if d != 0 && (next == 0 || d < next) {
+			next = d
+		}
+	}
+	if next != 0 {
+		l.wake.Reset(max(0, clock.Duration(next-Monotonic())))
+	}
+}
+
+// After posts an event in a while.
+func (l *Loop) After(d time.Duration, event func()) {
+	l.Beside.Go(func() {
+		select {
+		case <-time.After(d):
+			l.Post(event)
+		case <-l.over:
+		}
+	})
+}
+
+// Read posts a connection's messages, and its end as one of kind Broken.
+func (l *Loop) Read(c *Conn, got func(c *Conn, m Message)) {
+	l.Beside.Go(func() {
+		for {
+			m, err := c.Read()
+			if err != nil {
+				m = Message{Kind: decide.Broken, Text: []byte(err.Error())}
+			}
+			if !l.Post(func() { got(c, m) }) {
+				m.CloseFiles()
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+// Broke posts that a connection is of no use, as its reader would.
+func (l *Loop) Broke(c *Conn, why error, got func(c *Conn, m Message)) {
+	l.Beside.Go(func() {
+		l.Post(func() { got(c, Message{Kind: decide.Broken, Text: []byte(why.Error())}) })
+	})
+}
+
+// Greeting is how a taker begins.
+func Greeting() Message {
+	return Message{Kind: decide.Hello, Text: fmt.Append(nil, decide.Version)}
+}
+
+// Unwelcome says why one that has begun so is to be turned away, "" for not at all.
+func Unwelcome(m Message) string {
+	switch {
+	case m.Kind != decide.Hello:
+		return "that is no takeover"
+	case string(m.Text) != fmt.Sprint(decide.Version):
+		return fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text)
+	}
+	return ""
+}
+
+// Refuse turns one away that has connected.
+func (c *Conn) Refuse(why string) {
+	c.Write(Message{Kind: decide.Refused, Text: []byte(why)})
+	c.Close()
+}
