--- a/cmd/dunlinbench/main.go
+++ b/cmd/dunlinbench/main.go
@@ -21,6 +21,7 @@
 const usage = `usage: dunlinbench MEASUREMENT [flags]
 
   fast       endpoints that answer in a fraction of a millisecond: sidecar beside ReverseProxy
+  service    processor time a request through the sidecar: alone, beside operators' calls, and through another build
   cost       throughput and processor time a request on 1 and 2 cores: daemon beside ReverseProxy
   neighbour  a modest client alone, and beside one at twenty times its rate
   handover   the longest gap between answers while a process takes over from another
@@ -70,6 +71,13 @@
 		rounds := flags.Int("rounds", 3, "rounds")
 		flags.Parse(args)
 		return bench.Cost(ctx, os.Stdout, bin, *rate, *each, *rounds)
+	case "service":
+		other := flags.String("other", "", "another build of the sidecar, to be measured beside")
+		rate := flags.Float64("rate", 1500, "requests a second")
+		each := flags.Duration("for", 4*time.Second, "time for each part")
+		rounds := flags.Int("rounds", 7, "rounds")
+		flags.Parse(args)
+		return bench.Service(ctx, os.Stdout, bin, *other, *rate, *each, max(1, *rounds))
 	case "neighbour":
 		each := flags.Duration("for", 10*time.Second, "time for each part")
 		rounds := flags.Int("rounds", 3, "rounds")
