Hold a taker that is sure of its sockets to serving in time, and send SIGHUP mid-handover

Need: that such a taker serves within 6 s whatever the giver does was shown with six givers only; SIGHUP in a handover not at all. Change: 2,000 random courses of a giver's messages, silences and ends, against the state machine; a SIGHUP in each step of a lost taker. Result: each serves once, within 6 s; none fails but when it is told to stop.

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -352,6 +352,7 @@
 				}
 				got.CloseFiles()
 			}
+			old.cmd.Process.Signal(syscall.SIGHUP) // in the middle of it
 			c.Close()
 			peer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
 			h.once()
@@ -359,6 +360,9 @@
 			old.cmd.Process.Signal(syscall.SIGTERM)
 			old.ends()
 			stop()
+			if !strings.Contains(old.log.String(), "configuration read again") {
+				t.Error("a SIGHUP was not heard")
+			}
 		})
 	}
 }
--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -321,3 +322,55 @@
 		t.Errorf("the next: %+v", steps)
 	}
 }
+
+// A taker that is sure of its sockets serves in time whatever the giver does, and ends for nobody but who stops it.
+func TestSureTakerServesInTime(t *testing.T) {
+	times := Times{Ready: 2_000_000, Answer: 1_000_000, Drain: 30_000_000}
+	from := []Event{Offer, Go, Yours, Done, Refused, Broken, Hello, Prepared}
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		tk := Taker{Times: times, Sure: true}
+		started, hung := false, false
+		served := 0
+		do := func(steps []Step) {
+			for _, s := range steps {
+				switch s.Action {
+				case Start:
+					started = true
+				case Hang:
+					hung = true
+				case Accept, Cold:
+					served++
+				case Fail:
+					t.Fatalf("seed %d: failed: %s", seed, s.Reason)
+				case Send:
+					if hung {
+						t.Fatalf("seed %d: sends %v to a giver it has hung up on", seed, s.Message)
+					}
+				}
+			}
+		}
+		now := Micros(rng.IntN(1000))
+		began := now
+		do(tk.Begin(now))
+		for !tk.Serving() && now-began < 6_000_000 {
+			now += Micros(rng.IntN(300_000))
+			switch {
+			case tk.Deadline() != 0 && now >= tk.Deadline():
+				do(tk.Step(now, Wake, ""))
+			case started && rng.IntN(4) == 0:
+				do(tk.Step(now, Started, ""))
+			case !hung && rng.IntN(3) == 0:
+				do(tk.Step(now, from[rng.IntN(len(from))], "no sense"))
+			}
+		}
+		if !tk.Serving() || served != 1 {
+			t.Fatalf("seed %d: %v after %d ms, served %d times", seed, &tk, (now-began)/1000, served)
+		}
+	}
+	stopped := Taker{Times: times, Sure: true}
+	stopped.Begin(0)
+	if steps := stopped.Step(1, Stop, ""); len(steps) == 0 || steps[len(steps)-1].Action != Fail {
+		t.Errorf("told to stop before it began: %v", steps)
+	}
+}
