Bound passes, probes and further attempts over the fleet; shed by one order

Each instance lets a request of each class pass its limit once a second; at 300 instances that is nearly all they are asked for.

Change: internal/decide/overload, off by default ([overload], ROUTER_OVERLOAD): a level of what goes on (additive increase, multiplicative decrease), one order by worth for work and the goal, passes, probes and further attempts divided over the fleet. The engine asks it, the balancer takes bounds; probes go to requests that wait for them.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -271,6 +271,21 @@
 	Load     []float32
 }
 
+// Bounds is what an overload of the endpoints, that all instances bring about together, leaves to this balancer (Bound).
+// Lists are read during calls, and may change between them.
+type Bounds struct {
+	Admit  []float64 // by class, the part of the requests that goes on
+	Excess []float64 // the same of what tenants ask beyond their share
+	Inside []float64 // by tenant, the part of its requests within its share
+	Waits  []float64 // by class, the part of what its aim leaves that a request may wait
+	First  float64   // the same of what ranks first, whatever its class,
+	Floor  float64   // which is this part of the requests
+
+	PassEvery Micros  // after so long one request of a class may go on although it seems too late
+	Further   bool    // one more attempt beyond a request's first may be made
+	Probes    float64 // a second, at most
+}
+
 // Actions is what a balancer asks of its host. Calls come from within event
 // methods, in the order in which they are to take effect.
 type Actions interface {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -206,16 +206,39 @@
 		b.fail(r)
 		return
 	}
-	var after Micros
-	if b.s.Limits.RetryAfter {
-		// Spread the returns, and let them come while an answer is still wanted.
-		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).Aim))
-		after = min(after, b.s.Limits.MaxRetryAfter)
-	}
-	b.out.Refuse(r.ID, after)
+	b.out.Refuse(r.ID, b.retryAfter(b.class(r)))
 	b.end(r)
 }
 
+// retryAfter spreads the returns, and lets them come while an answer is still wanted.
+func (b *Balancer) retryAfter(c *Class) Micros {
+	if !b.s.Limits.RetryAfter {
+		return 0
+	}
+	return min(Micros((0.1+0.2*b.rng.float())*float64(c.Aim)), b.s.Limits.MaxRetryAfter)
+}
+
+// Bound tells what the overload of the endpoints leaves from now on; nil is that nothing is decided of it.
+func (b *Balancer) Bound(to *Bounds) { b.bounds = to }
+
+// TurnsAway says whether a request that has just come is turned away by the bounds, and when its client may
+// try again. It is asked before the request waits for its turn; what it turns away is never told to Request.
+func (b *Balancer) TurnsAway(in Request) (after Micros, yes bool) {
+	if b.bounds == nil || int(in.Class) >= len(b.classes) {
+		return 0, false
+	}
+	part := b.bounds.Admit[in.Class]
+	lots := source(in.ID)
+	rank := lots.float()
+	if t := int(in.Tenant); t < len(b.bounds.Inside) && lots.float() >= b.bounds.Inside[t] {
+		part = b.bounds.Excess[in.Class]
+	}
+	if rank < part {
+		return 0, false
+	}
+	return b.retryAfter(&b.s.Classes[in.Class]), true
+}
+
 func (b *Balancer) fail(r *request) {
 	if !r.ended {
 		b.out.Fail(r.ID)
@@ -423,8 +446,11 @@
 	firstTries  = 0.3         // at least, of what is asked
 	probeMost   = 4.0         // probes a request, at most
 	probeLeast  = 0.1         // probes a second, at least
+	probeRest   = 0.01        // and where bounds leave none: what is counted with must not be nothing
 	holdSpend   = 0.015       // of the result, at most, goes to probes that held requests wait for
 	drawsMost   = 3.0         // probes for a held request, at most
+	boundPart   = 0.2         // of the probes that bounds leave are made in rounds;
+	boundDraws  = 2.0         // for a held request there are so many at most
 	holdPart    = 10          // a request is held for no more than such a part of its aim
 	poolMost    = 24          // answers in the pool
 	probeBatch  = 3           // endpoints a round
@@ -449,7 +475,12 @@
 	per := min(probeMost, probeSpend/max(1e-9, b.s.Prices.Probe))
 	per *= probeCalm + (1-probeCalm)*min(1, b.refused.v/refusedSome)
 	// The price counts first tries. While all is refused, answers must still show when that may end.
-	return max(probeLeast, per*b.demand.rate(now)*max(firstTries, 1-b.refused.v))
+	rate := max(probeLeast, per*b.demand.rate(now)*max(firstTries, 1-b.refused.v))
+	if b.bounds != nil {
+		// Those that requests wait for tell more: they are of this moment, and many requests share them.
+		rate = max(probeRest, boundPart*min(rate, b.bounds.Probes))
+	}
+	return rate
 }
 
 // freshFor is how long a pooled answer may be used.
@@ -639,13 +670,17 @@
 // hold keeps a request until probes that it asks for have answered: the answers that a quiet balancer has
 // pooled are older than what they tell. It says no where enough recent ones are pooled or none can be had.
 func (b *Balancer) hold(now Micros, r *request) bool {
-	n := min(int(min(drawsMost, holdSpend/max(1e-9, b.s.Prices.Probe))+b.rng.float()), len(b.list))
+	draws, span, most := min(drawsMost, holdSpend/max(1e-9, b.s.Prices.Probe)), recent*b.work.v, float64(second)
+	if b.bounds != nil {
+		draws, most = min(draws, boundDraws), math.Inf(1)
+	}
+	n := min(int(draws+b.rng.float()), len(b.list))
 	// A busy balancer's answers are recent without that. Where reports are rarely made anew, all who ask are
 	// told the same and would all follow it.
-	if span := recent * b.work.v; b.refresh() > span || b.demand.rate(now)*span > float64(second) {
+	if b.refresh() > span || b.demand.rate(now)*span > most {
 		n = 0
 	}
-	for i := len(b.pool) - 1; i >= 0 && n > 0 && float64(now-b.pool[i].answerAt) < recent*b.work.v; i-- {
+	for i := len(b.pool) - 1; i >= 0 && n > 0 && float64(now-b.pool[i].answerAt) < span; i-- {
 		n--
 	}
 	b.probeSome(now, n-b.asked, true)
@@ -849,7 +884,7 @@
 		// It would come too late to be worth its work. As with the breaker, one passes
 		// now and then, so that a wrong guess does not feed itself.
 		c := &b.classes[r.Class]
-		if !first || now-c.passed < forcedPass {
+		if !first || now-c.passed < b.passEvery(now, c) {
 			if now-b.logged["refuse"] >= second { // made only when due: refusals come in thousands
 				b.log(now, "refuse", "refusing, "+strconv.Itoa(int(100*b.refused.v))+"% of late: the best, endpoint "+
 					strconv.Itoa(int(e.ID))+", would take "+strconv.Itoa(int(x/1000))+" ms, limit "+
@@ -867,11 +902,23 @@
 	return b.send(now, r, e)
 }
 
+// passEvery is the time between two requests of a class that pass although they seem too late. Were it the
+// same at each of many instances, all that is asked for would pass.
+func (b *Balancer) passEvery(now Micros, c *classStats) Micros {
+	if b.bounds == nil {
+		return forcedPass
+	}
+	if c.passed == 0 {
+		c.passed = now - b.rng.below(b.bounds.PassEvery) // not in step with those that start as we do
+	}
+	return b.bounds.PassEvery
+}
+
 // room is the longest predicted latency at which r is still sent to e: its time there without a queue, and
 // a part of what the aim leaves for waiting. Classes of little value for their work give way first.
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
 	alone := e.rtt.or(0) + r.work*b.slowdown()*e.paceNow(now, b)
-	share := max(roomLeast, roomMost*b.value(now, r))
+	share := b.waits(now, r)
 	if b.reportsLate {
 		share = 1 // the least loaded endpoint is not known: averages must not refuse what it would serve
 	}
@@ -885,7 +932,19 @@
 	if int(in.Class) >= len(b.classes) {
 		return roomLeast
 	}
-	return max(roomLeast, roomMost*b.value(now, &request{Request: in}))
+	return b.waits(now, &request{Request: in})
+}
+
+// waits is the part of what its aim leaves that r may wait.
+func (b *Balancer) waits(now Micros, r *request) float64 {
+	if t := b.bounds; t != nil {
+		lots := source(r.ID) // of the request itself: it is judged alike before its turn and after
+		if lots.float() < t.Floor {
+			return t.First
+		}
+		return t.Waits[r.Class]
+	}
+	return max(roomLeast, roomMost*b.value(now, r))
 }
 
 // value ranks r's class, 0 to 1, by the goal's gain from a unit of its work: worth, and more if served worst.
@@ -1005,6 +1064,9 @@
 
 // mayRetry says whether the budget of further attempts has one left.
 func (b *Balancer) mayRetry(now Micros) bool {
+	if b.bounds != nil {
+		return b.bounds.Further
+	}
 	if b.s.RetryWithin == 0 {
 		return b.credit >= 1
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/conns"
 	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
@@ -47,6 +48,7 @@
 	Attempts Attempts `toml:"attempts"`
 	Refusals Refusals `toml:"refusals"`
 	Probes   Probes   `toml:"probes"`
+	Overload Overload `toml:"overload"`
 	Rules    Rules    `toml:"rules"`
 	Prices   Prices   `toml:"prices"`
 	Goal     Goal     `toml:"goal"`
@@ -249,6 +251,30 @@
 	Fields []string `toml:"fields"`
 }
 
+// Overload says whether the instance bounds what it adds to the load of endpoints that other instances load, too.
+type Overload struct {
+	On          bool    `toml:"on"`
+	Further     float64 `toml:"further"`
+	FurtherSick float64 `toml:"further_sick"`
+	Probes      float64 `toml:"probes"`
+	NodeProbes  float64 `toml:"node_probes"`
+	NodeLeast   float64 `toml:"node_least"`
+}
+
+// Decides returns the settings of that decision, without what the site says; nil is that it is off.
+func (o *Overload) Decides(instances int) *overload.Settings {
+	if !o.On {
+		return nil
+	}
+	return &overload.Settings{Instances: instances, Further: o.Further, FurtherSick: o.FurtherSick, Probes: o.Probes,
+		NodeProbes: o.NodeProbes, NodeLeast: o.NodeLeast}
+}
+
+func overloadShipped() Overload {
+	s := overload.Shipped()
+	return Overload{Further: s.Further, FurtherSick: s.FurtherSick, Probes: s.Probes, NodeProbes: s.NodeProbes, NodeLeast: s.NodeLeast}
+}
+
 // Rules are the figures of the rules that must hold (PROTOCOL).
 type Rules struct {
 	DrainGrace   strict.Duration `toml:"drain_grace"`
@@ -291,6 +317,7 @@
 		Attempts:    Attempts{Most: 3, Cancel: true, SecondCopies: true, RetryBudget: balancer.RetryShare, DialTimeout: strict.Duration{Duration: 250 * time.Millisecond}},
 		Refusals:    Refusals{RetryAfter: true, RetryAfterMost: strict.Duration{Duration: time.Second}},
 		Probes:      Probes{Report: "none"},
+		Overload:    overloadShipped(),
 		Rules: Rules{DrainGrace: strict.Duration{Duration: 250 * time.Millisecond}, ColdFrom: 0.2, WarmAfter: strict.Duration{Duration: 20 * time.Second},
 			FallMultiple: 2.5, FallAfter: strict.Duration{Duration: 2 * time.Second}, AskWithin: strict.Duration{Duration: 10 * time.Second}},
 		Goal:  Goal{Whole: 1},
@@ -585,6 +612,14 @@
 			WorstTenant: c.Goal.WorstTenant},
 	}
 	s.Settings.Strict = len(c.Routes) > 0
+	o := &c.Overload
+	for key, v := range map[string]float64{"further": o.Further, "further_sick": o.FurtherSick, "probes": o.Probes} {
+		k.That(v >= 0 && v <= 10, "overload."+key, "%v: must be in 0..10", v)
+	}
+	k.That(o.FurtherSick <= o.Further, "overload.further_sick", "%v is over further, %v", o.FurtherSick, o.Further)
+	k.That(o.NodeProbes >= 0 && o.NodeProbes <= 1e6, "overload.node_probes", "%v: must be in 0..1000000", o.NodeProbes)
+	k.That(o.NodeLeast > 0 && o.NodeLeast <= 1e6, "overload.node_least", "%v: must be over 0, to 1000000: an endpoint that recovers must be found", o.NodeLeast)
+	k.That(o.NodeProbes == 0 || o.NodeLeast <= o.NodeProbes, "overload.node_least", "%v is over node_probes, %v", o.NodeLeast, o.NodeProbes)
 	k.reports(c)
 	k.classes(c)
 	tenants := map[string]bool{}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -38,7 +38,8 @@
 	p := &pool{conf: conf}
 	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), Known: engine.Told{Generation: discovery.Unlisted},
 		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
-		Subset: d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
+		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
+		Subset:   d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
 		c.Listed = true
--- /dev/null
+++ b/internal/decide/overload/level.go
@@ -0,0 +1,74 @@
+package overload
+
+import "math"
+
+// level is the part of a mix of work that goes on (order.go). It rises by a step for each request that is asked for and falls
+// by a part of itself for each that went on in vain: turned away by the balancer, by an endpoint, or answered too late. What
+// goes on in vain depends on the endpoints' queues, which are the same for all instances; so a high level falls by more than
+// a low one, and any two come to the same (additive increase, multiplicative decrease: Chiu and Jain 1989). The queues
+// themselves are held by the balancer's limits, request by request; the level only has to find which part of the work those
+// need not turn away. That part is a property of demand and capacity and does not move with the queues, so that evidence
+// which is seconds old steers it without swinging (docs/design/overload.md).
+type level struct {
+	y  float64
+	at Micros // of the latest request
+	w  float64
+
+	x       float64 // the part of its aim that a request spends at an endpoint: mean of recent samples
+	seenAt  Micros
+	samples int
+}
+
+const (
+	// A second's steps up, and for a second in which all went on in vain the part down. Where they meet, up/(down*level) of
+	// what goes on does so in vain: 5% at half of the work. Measured: half as much up or twice as much down serves less at
+	// 80 and 300 instances, the reverse leaves the order to the balancer's limits.
+	up   = 0.1
+	down = 3.0
+	// While requests spend less than xFree of their aim at endpoints there is no overload that lasts, and the level comes
+	// back five times as fast: half of the work within a second.
+	upFree = 0.5
+	xFree  = 0.3
+	// One request counts as at most so much of a second: an instance that is asked for little learns from as many requests
+	// as another, if over longer.
+	stepMost = 0.1
+	// Something always goes on, or nothing would tell that more may.
+	levelMin = 0.05
+
+	// A sample counts as no more than a whole aim: an endpoint that lies or hangs moves the mean by its part of the samples
+	// at most. With one of twelve lying, 0.2 in calm becomes 0.27.
+	xMost = 1.0
+	// Beyond this part of the aim endpoints are taken for full: a request alone takes a fifth of it or so.
+	xFull = 0.45
+
+	xSpan   = second // samples are averaged over this time,
+	xWeight = 0.1    // but one of them moves the mean by so much at most: who has few goes by as many, if over longer
+)
+
+// see takes a sample in of the part of its aim that a request spends at an endpoint.
+func (l *level) see(now Micros, x float64) {
+	if !(x >= 0) {
+		return
+	}
+	since := float64(max(0, now-l.seenAt))
+	l.seenAt = now
+	l.samples++
+	l.x += (min(x, xMost) - l.x) * max(1/float64(l.samples), min(xWeight, -math.Expm1(-since/float64(xSpan))))
+}
+
+// full says whether the endpoints are taken for full.
+func (l *level) full() bool { return l.x > xFull }
+
+// asked tells of a request.
+func (l *level) asked(now Micros) {
+	l.w = min(stepMost, float64(max(0, now-l.at))/float64(second))
+	l.at = now
+	rise := up
+	if l.x < xFree {
+		rise = upFree
+	}
+	l.y = min(1, l.y+l.w*rise)
+}
+
+// vain tells of a request that went on in vain.
+func (l *level) vain() { l.y = max(levelMin, l.y-l.w*down*l.y) }
--- /dev/null
+++ b/internal/decide/overload/overload.go
@@ -0,0 +1,313 @@
+// Package overload decides, for one instance of a fleet that shares endpoints without words between its instances, what of
+// its work is turned away while the endpoints cannot do all that is asked, and what is left then of what only adds to their
+// load: further attempts and probes. It is told of its own demand, of its outcomes and of what endpoints report of their
+// whole load, in which the others' traffic is. From the same evidence all instances come to the same level, whatever they
+// have done before. It is a deterministic state machine for one caller at a time: no I/O, no clock, chance by a seed. It may
+// not know balancers, lists, requests or sockets; what it decides reaches the balancer as bounds.
+//
+// level.go holds how much is turned away, order.go in which order, budget.go what is left of further attempts and probes.
+package overload
+
+import (
+	"fmt"
+	"math"
+)
+
+// Micros is an instant or a duration in microseconds; instants share one origin and never run backwards.
+type Micros = int64
+
+const second Micros = 1_000_000
+
+// Class is a class of requests.
+type Class struct {
+	Worth float64 // of one request in its aim
+	Aim   Micros
+}
+
+// Tenant is one of those who share the service.
+type Tenant struct{ Allowance float64 } // requests a second over all instances; 0 is none
+
+// Goal weighs what is judged: all worth, and the class served worst.
+type Goal struct{ Whole, WorstClass float64 }
+
+// Settings are an instance's. The zero value of a part is what holds where nothing is said.
+type Settings struct {
+	Classes   []Class
+	Tenants   []Tenant
+	OverShare float64 // what a tenant's request beyond its share is worth, 0 to 1
+	Goal      Goal
+	Instances int // as far as told, this one included: it divides the least of probes only
+	Seed      uint64
+
+	Further     float64 // further attempts for each first one that was accepted, within any second;
+	FurtherSick float64 // and so many while work is turned away or many attempts fail
+	Probes      float64 // probes for each first attempt that was accepted
+	NodeProbes  float64 // probes a second that one endpoint gets of all instances together, at most
+	NodeLeast   float64 // and at least, so that one that recovers is found
+}
+
+// Shipped returns the budgets that hold where the operators turn this on and say no more. A fifth of further attempts is what
+// a pool has without it. Two probes for each that was accepted are the two draws that a request waits for; what is measured
+// of them is a fifth to one at each first attempt under overload, since many requests share a draw. A hundred a second cost
+// an endpoint a hundredth of a core at 0.1 ms each, and one a second finds it again within a second once it recovers.
+func Shipped() Settings {
+	return Settings{Further: 0.2, FurtherSick: 0.1, Probes: 2, NodeProbes: 100, NodeLeast: 1}
+}
+
+// SettingError names a setting that makes no sense.
+type SettingError struct{ Key, Reason string }
+
+// Error says which, and why.
+func (e *SettingError) Error() string { return fmt.Sprintf("overload: %s: %s", e.Key, e.Reason) }
+
+func (s *Settings) check() error {
+	if len(s.Classes) == 0 {
+		return &SettingError{"classes", "at least one is needed"}
+	}
+	for i, c := range s.Classes {
+		if !(c.Worth >= 0) || c.Aim <= 0 || math.IsInf(c.Worth, 0) {
+			return &SettingError{fmt.Sprintf("classes.%d", i), "worth must not be negative, aim must be positive"}
+		}
+	}
+	for _, v := range []struct {
+		key  string
+		v, m float64
+	}{{"further", s.Further, 10}, {"further_sick", s.FurtherSick, 10}, {"probes", s.Probes, 100}, {"node_probes", s.NodeProbes, 1e6},
+		{"node_least", s.NodeLeast, 1e6}, {"over_share", s.OverShare, 1}, {"goal.whole", s.Goal.Whole, 1e6}, {"goal.worst_class", s.Goal.WorstClass, 1e6}} {
+		if !(v.v >= 0 && v.v <= v.m) {
+			return &SettingError{v.key, fmt.Sprintf("must be in 0..%v", v.m)}
+		}
+	}
+	if s.Instances < 1 {
+		return &SettingError{"instances", "must be at least 1"}
+	}
+	return nil
+}
+
+// Control decides for one instance. Make one with New.
+type Control struct {
+	s       Settings
+	level   level
+	order   order
+	further lottery
+	probes  purse
+
+	w         float64
+	endpoints int
+	asked     []meter // by class: requests that are no repeats
+	tenants   []meter // by tenant, the same
+	took      []mean  // by class: time of an answer
+	came      meter   // work that was asked for, in time at an endpoint, repeats included
+	went      meter   // of that, such as went on
+	served    meter   // first attempts accepted
+	ended     meter   // first attempts ended
+	serves    mean    // requests a second that an endpoint serves for all, as it reports
+}
+
+// New returns the control of an instance that has just started, or a *SettingError.
+func New(s Settings) (*Control, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	c := &Control{s: s, asked: make([]meter, len(s.Classes)), tenants: make([]meter, len(s.Tenants)), took: make([]mean, len(s.Classes)),
+		order: newOrder(s), further: lottery{seed: s.Seed}}
+	c.level.y = 1                     // what an instance has not seen it does not turn away; the balancer's limits hold meanwhile
+	c.probes.tokens = draw(s.Seed, 0) // a part of one: who is started often earns nothing by that
+	return c, nil
+}
+
+// Endpoints tells how many endpoints the instance shares with the others.
+func (c *Control) Endpoints(n int) { c.endpoints = n }
+
+// Asked tells of a client's request. A repeat of one that the client asked for before is no new worth. A tenant that is
+// none of the settings' is a negative number.
+func (c *Control) Asked(now Micros, class, tenant int, repeat bool) {
+	if class < 0 || class >= len(c.asked) {
+		return
+	}
+	c.came.add(now, c.work(class))
+	c.level.asked(now)
+	if repeat {
+		return
+	}
+	c.asked[class].add(now, 1)
+	if tenant >= 0 && tenant < len(c.tenants) {
+		c.tenants[tenant].add(now, 1)
+	}
+}
+
+// Sent tells that an attempt has gone out; first says that it is its request's first.
+func (c *Control) Sent(now Micros, class int, first bool) {
+	if !first {
+		c.further.spend(now)
+	} else if class >= 0 && class < len(c.took) {
+		c.went.add(now, c.work(class))
+	}
+}
+
+// work is what a request of a class costs, as time at an endpoint.
+func (c *Control) work(class int) float64 {
+	return c.took[class].or(float64(c.s.Classes[class].Aim) / 5)
+}
+
+// Refused tells that the balancer turned a request away unsent that the bounds had let in.
+func (c *Control) Refused() { c.level.vain() }
+
+// Ending is how an attempt ended.
+type Ending uint8
+
+// The ways in which an attempt ends, as far as they tell of load.
+const (
+	Answered  Ending = iota
+	Full             // turned away by the endpoint, or no answer in its time
+	Broken           // failed in another way, which tells nothing of load
+	Withdrawn        // by ourselves: tells nothing
+)
+
+// Ended tells of an attempt's end; first says that it was its request's first.
+func (c *Control) Ended(now Micros, class int, first bool, how Ending, took Micros) {
+	if class < 0 || class >= len(c.s.Classes) || how == Withdrawn {
+		return
+	}
+	if first {
+		c.ended.add(now, 1)
+	}
+	aim := float64(c.s.Classes[class].Aim)
+	switch how {
+	case Answered:
+		if first {
+			c.served.add(now, 1)
+			c.further.earn(now)
+			c.probes.earn(now, c.rates(now))
+		}
+		c.took[class].add(float64(took), tookWeight)
+		c.level.see(now, float64(took)/aim)
+		if float64(took) > aim {
+			c.level.vain()
+		}
+	case Full:
+		c.level.see(now, xMost)
+		c.level.vain()
+	}
+}
+
+// Load is what an endpoint reports of its whole load; what it does not report is negative.
+type Load struct {
+	Inflight float64 // requests that it holds
+	Served   float64 // requests served a second
+}
+
+// Reported tells what an endpoint reports. By Little's law the time that a request spends there is what it holds over what
+// it serves a second: that holds for all instances' requests, without knowing its cores or the requests' work. What makes no
+// sense is passed over.
+func (c *Control) Reported(now Micros, l Load) {
+	if !(l.Served >= 1) || math.IsInf(l.Served, 0) || !(l.Inflight >= 0) || math.IsInf(l.Inflight, 0) {
+		return // an endpoint that serves nothing tells nothing of how long it takes
+	}
+	c.serves.add(min(l.Served, servesMost*c.serves.or(l.Served)), servesWeight)
+	c.level.see(now, l.Inflight/l.Served*float64(second)/c.aim())
+}
+
+// aim is the mean aim of what is asked for, in microseconds.
+func (c *Control) aim() float64 {
+	var sum, n float64
+	for i := range c.asked {
+		r := c.asked[i].sum
+		sum += r * float64(c.s.Classes[i].Aim)
+		n += r
+	}
+	if n == 0 {
+		return float64(c.s.Classes[0].Aim)
+	}
+	return sum / n
+}
+
+const (
+	tookWeight   = 0.02
+	servesWeight = 0.1
+	servesMost   = 4 // times the mean that one report counts as, at most: one that lies must not hide what all serve
+)
+
+// Reason says why something is bounded, for logs and figures.
+type Reason uint8
+
+// The reasons.
+const (
+	None     Reason = iota // nothing is
+	Waits                  // endpoints' requests take too large a part of their aim
+	Failures               // many attempts fail
+)
+
+// String names the reason.
+func (r Reason) String() string {
+	return [...]string{"none", "endpoints are full", "many attempts fail"}[r]
+}
+
+// Bounds is what is decided, as of an instant.
+type Bounds struct {
+	Level  float64   // 1: all work goes on; towards 0 ever less does
+	Admit  []float64 // by class, the part of the requests that goes on
+	Excess []float64 // the same of what tenants ask beyond their share
+	Inside []float64 // by tenant, the part of its requests that lies within its share
+	Waits  []float64 // by class, the part of what its aim leaves that a request may wait at an endpoint
+	First  float64   // the same of what ranks first, whatever its class,
+	Floor  float64   // which is this part of the requests
+
+	Further   bool    // one more further attempt may go out
+	Probes    float64 // probes a second that there is room for
+	PassEvery Micros  // one request of a class may go on against its limit after so long: a wrong guess must not feed itself
+
+	Load   float64 // the part of its aim that a request spends at an endpoint
+	Let    float64 // the part of what was asked for that went on lately
+	Reason Reason
+}
+
+const (
+	// The part of first attempts whose failing makes further ones few: beyond it the others could not serve them all anyway.
+	sickFrom = 0.3
+	// Below this part of its requests an instance is turning work away.
+	letFew = 0.9
+	// Requests a second that may go on against their limits at one endpoint, of all instances together: an eighth or so of
+	// what an endpoint of two cores serves. Were it one for each class and instance, as it is without bounds, at 300 instances
+	// it would be all that they are asked for: that is what the number of instances did harm by.
+	passes = 4.0
+)
+
+// Bounds returns what holds now. Its lists are the control's own, until its next event.
+func (c *Control) Bounds(now Micros) Bounds {
+	let := 1.0
+	if n := c.came.rate(now); n > 0 {
+		let = min(1, c.went.rate(now)/n)
+	}
+	b := Bounds{Level: c.level.y, Load: c.level.x, Let: let, Probes: c.rates(now).rate()}
+	b.Admit, b.Excess = c.order.parts(b.Level, c.took)
+	b.Waits, b.First, b.Floor = c.order.waits, waitFirst, c.order.least
+	b.Inside = c.order.inside(now, c.tenants)
+	b.PassEvery = max(second, Micros(float64(len(c.s.Classes)*c.s.Instances)/(passes*float64(max(1, c.endpoints)))*float64(second)))
+	share := c.s.Further
+	ended := c.ended.rate(now)
+	switch {
+	case c.level.full() || let < letFew:
+		b.Reason, share = Waits, c.s.FurtherSick
+	case ended >= 1 && 1-c.served.rate(now)/ended > sickFrom:
+		b.Reason, share = Failures, c.s.FurtherSick
+	}
+	b.Further = c.further.may(now, share)
+	return b
+}
+
+// Probe says whether a probe may go out, and takes it out of the budget.
+func (c *Control) Probe(now Micros) bool { return c.probes.take(now, c.rates(now)) }
+
+// rates returns what the budget of probes is filled with.
+func (c *Control) rates(now Micros) rates {
+	r := rates{part: c.s.Probes, served: c.served.rate(now), least: c.s.NodeLeast * float64(c.endpoints) / float64(c.s.Instances)}
+	// The own part of the fleet's load: what is served to this instance, of what endpoints say that they serve to all.
+	if all := c.serves.or(0) * float64(c.endpoints); c.s.NodeProbes > 0 && all > 0 {
+		own := min(1, r.served/all)
+		if most := c.s.NodeProbes * float64(c.endpoints) * own; r.served*r.part > most {
+			r.part = most / r.served
+		}
+	}
+	return r
+}
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -27,6 +27,9 @@
 	c.attempts = append(c.attempts, a)
 	c.open++
 	x.pool.weigh(now, 1)
+	if l := x.pool.loaded; l != nil {
+		l.control.Sent(now, int(c.In.Class), a.Number == 0)
+	}
 	if c.ended || e == nil || now >= a.Deadline || len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
 		if e == nil {
 			a.Endpoint = &Endpoint{Number: number, Target: nowhere{}}
@@ -46,6 +49,9 @@
 	if c := x.calls[id]; c != nil && !c.ended {
 		if len(c.attempts) == 0 {
 			x.pool.turnedAway(x.now)
+			if l := x.pool.loaded; l != nil {
+				l.control.Refused()
+			}
 		}
 		x.finish(c, Answer{Verdict: Refused, RetryAfter: retryAfter, Reply: c.said})
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -269,6 +269,9 @@
 	if o := x.config.Observe; o != nil {
 		o.Probed(now, e.Name, r.Status, max(0, r.At-sent))
 	}
+	if r.Status == balancer.OK {
+		p.reported(now, r.Load)
+	}
 	p.balancer.Probed(now, e.Number, r.Status, max(0, r.At-sent), r.Load)
 	x.pump(now)
 }
@@ -298,6 +301,7 @@
 	latency := max(0, r.At-max(a.Sent, r.From))
 	c.Pool.heard(now, a.Endpoint, r.Status, latency)
 	c.Pool.weigh(now, -1)
+	c.Pool.attemptEnded(now, a, r, latency)
 	if o := x.config.Observe; o != nil {
 		o.Ended(now, a.Endpoint.Name, r.Status, latency)
 	}
--- /dev/null
+++ b/internal/engine/overload.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/overload"
+)
+
+// loaded is a pool whose instance bounds what it adds to the load of endpoints that others load, too (package overload).
+type loaded struct {
+	control  *overload.Control
+	bounds   balancer.Bounds // the balancer's, kept up to date
+	now      overload.Bounds // the same, as decided
+	told     overload.Reason // in the log
+	toldAt   Micros
+	inflight int // places of figures in a load report; -1 is that it has none
+	served   int
+}
+
+func (p *Pool) bound(s overload.Settings, seed uint64) error {
+	site := &p.engine.config.Site.Settings
+	s.Seed, s.OverShare = seed, site.OverShareWorth
+	s.Goal = overload.Goal{Whole: site.Goal.Whole + site.Goal.WorstWindow + site.Goal.WorstTenant, WorstClass: site.Goal.WorstClass}
+	for i := range site.Classes {
+		s.Classes = append(s.Classes, overload.Class{Worth: site.Classes[i].Worth, Aim: site.Classes[i].Aim})
+	}
+	for i := range site.Tenants {
+		s.Tenants = append(s.Tenants, overload.Tenant{Allowance: site.Tenants[i].Allowance})
+	}
+	control, err := overload.New(s)
+	if err != nil {
+		return err
+	}
+	l := &loaded{control: control, inflight: -1, served: -1}
+	for i, f := range p.engine.config.Site.Settings.Fields {
+		switch f {
+		case balancer.FieldInflight:
+			l.inflight = i
+		case balancer.FieldServed:
+			l.served = i
+		}
+	}
+	p.loaded = l
+	p.rebound(0)
+	p.balancer.Bound(&l.bounds)
+	return nil
+}
+
+// rebound brings the balancer's bounds up to date.
+func (p *Pool) rebound(now Micros) {
+	l := p.loaded
+	b := l.control.Bounds(now)
+	l.bounds = balancer.Bounds{Admit: b.Admit, Excess: b.Excess, Waits: b.Waits, First: b.First, Floor: b.Floor, Inside: b.Inside, Further: b.Further, Probes: b.Probes,
+		PassEvery: b.PassEvery}
+	l.now = b
+	if b.Reason != l.told && now-l.toldAt >= second {
+		l.told, l.toldAt = b.Reason, now
+		p.engine.config.Host.Log("overload", "pool", p.name, "reason", b.Reason.String(), "load", b.Load, "let", b.Let, "level", b.Level)
+	}
+}
+
+// turnsAway answers a request that the overload leaves no room for, and says whether it did.
+func (p *Pool) turnsAway(now Micros, c *Call) bool {
+	l := p.loaded
+	if l == nil {
+		return false
+	}
+	tenant := -1
+	if int(c.In.Tenant) < len(p.engine.config.Site.Settings.Tenants) {
+		tenant = int(c.In.Tenant)
+	}
+	l.control.Asked(now, int(c.In.Class), tenant, c.In.Retry)
+	p.rebound(now)
+	after, yes := p.balancer.TurnsAway(c.In)
+	if yes {
+		p.turnedAway(now)
+		p.engine.finish(c, Answer{Verdict: Refused, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
+	}
+	return yes
+}
+
+// attemptEnded tells the control how an attempt ended.
+func (p *Pool) attemptEnded(now Micros, a *Attempt, r Reply, took Micros) {
+	l := p.loaded
+	if l == nil {
+		return
+	}
+	how := overload.Broken
+	switch r.Status {
+	case balancer.OK:
+		how = overload.Answered
+	case balancer.Full, balancer.Timeout:
+		how = overload.Full
+	case balancer.Cancelled, balancer.Moot:
+		how = overload.Withdrawn
+	}
+	l.control.Ended(now, int(a.Call.In.Class), a.Number == 0, how, took)
+	p.reported(now, r.Load)
+	p.rebound(now)
+}
+
+// reported tells the control what an endpoint says of its load.
+func (p *Pool) reported(now Micros, load []float32) {
+	l := p.loaded
+	if l == nil || l.inflight < 0 || l.served < 0 || max(l.inflight, l.served) >= len(load) {
+		return
+	}
+	l.control.Reported(now, overload.Load{Inflight: float64(load[l.inflight]), Served: float64(load[l.served])})
+	p.rebound(now)
+}
+
+// ready returns how many endpoints may be sent to.
+func (p *Pool) ready() (n int) {
+	for _, e := range p.byName {
+		if e.state == balancer.Ready && !e.banned {
+			n++
+		}
+	}
+	return n
+}
+
+// Overload returns what is decided, and whether the pool decides anything of it.
+func (p *Pool) Overload() (overload.Bounds, bool) {
+	if p.loaded == nil {
+		return overload.Bounds{}, false
+	}
+	return p.loaded.now, true
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -7,6 +7,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
 )
@@ -22,6 +23,8 @@
 	Subset *subset.Settings // the instance deals with a part of the list only; nil is with all
 	Rest   func(n float64)  // told how many idle connections the pool may hold, with Subset; may be nil; must not wait
 
+	Overload *overload.Settings // what the fleet's overload leaves is decided with the other instances in mind; nil is not. What the site says is filled in
+
 	RetryShare  float64 // retries at its endpoints, as a part of their requests; 0 is the site's
 	RetryWithin Micros  // as balancer.Settings has it
 	RetryLeast  float64
@@ -48,6 +51,7 @@
 	list       map[string]Member // as held, by name
 	generation int64             // of the list
 	narrowed   *narrowed         // nil where all of the list is dealt with
+	loaded     *loaded           // nil where each request is judged by itself
 
 	calls  int  // not forgotten
 	closed bool // nothing new is taken
@@ -81,6 +85,11 @@
 	if p.balancer, err = balancer.New(settings, seed, actions{x, p}); err != nil {
 		return nil, err
 	}
+	if c.Overload != nil {
+		if err := p.bound(*c.Overload, seed); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
@@ -247,6 +256,9 @@
 			}
 		}
 	}
+	if p.loaded != nil {
+		p.loaded.control.Endpoints(p.ready())
+	}
 	p.balancer.Members(now, told.Kind, entries)
 	for name, e := range p.byName { // one that is new is in, and has had no chance to get anything
 		p.ban(now, e, p.engine.bans.Out(name))
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -210,11 +210,10 @@
 // mayProbe says whether a probe is within what nodes have for this instance. A balancer whose probe is not sent is told
 // so at once: a request may wait for its answer.
 func (p *Pool) mayProbe(now Micros, number uint32) bool {
-	n := p.narrowed
-	if n == nil {
-		return true
+	ok := p.loaded == nil || p.loaded.control.Probe(now)
+	if n := p.narrowed; ok && n != nil {
+		ok, _ = n.probes.Take(now, n.first)
 	}
-	ok, _ := n.probes.Take(now, n.first)
 	if !ok {
 		p.engine.at(now, func(now Micros) {
 			if !p.gone {
--- a/internal/lab/variant.go
+++ b/internal/lab/variant.go
@@ -170,7 +170,7 @@
 // settings returns what the model takes of a daemon's file.
 func settings(c *config.Config) *model.Settings {
 	s := &model.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: shares.Spec{Weight: 1},
-		Subset: c.Fleet.Part()}
+		Subset: c.Fleet.Part(), Overload: c.Overload.Decides(c.Fleet.Instances)}
 	if len(c.Clients) > 0 {
 		s.Client = c.Clients[0].Share(c.Clients[0].Name)
 	}
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -7,6 +7,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/model/caller"
@@ -91,7 +92,13 @@
 		own.Position, own.Instances = uint64(in.n), len(r.plan.Instances)
 		part = &own
 	}
-	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Rest: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, Known: engine.Told{Generation: -1}, Watch: in.watch})
+	var over *overload.Settings
+	if r.settings.Overload != nil {
+		own := *r.settings.Overload
+		own.Instances = len(r.plan.Instances)
+		over = &own
+	}
+	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, Rest: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, Known: engine.Told{Generation: -1}, Watch: in.watch})
 	if err != nil {
 		return err
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -15,6 +15,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
@@ -37,9 +38,10 @@
 type Settings struct {
 	Site        site.Site // of any instance: what differs between them is filled in
 	Sharing     engine.Sharing
-	RetryBudget float64          // of the pool
-	Subset      *subset.Settings // of each instance: place and number are filled in; nil is none
-	Connections int              // to endpoints, of an instance; 0 is no bound
+	RetryBudget float64            // of the pool
+	Subset      *subset.Settings   // of each instance: place and number are filled in; nil is none
+	Overload    *overload.Settings // of each instance: their number is filled in; nil is none
+	Connections int                // to endpoints, of an instance; 0 is no bound
 	Clients     conns.Limits
 	Client      shares.Spec // what each client process may do
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,6 +30,7 @@
 	Operator  string // where operators call; "" is nowhere
 	Inherited int    // the descriptor of the clients' listening socket, where the platform holds it; 0 is none
 	Meeting   string // a folder that a new version of this sidecar shares with the old one; "" is none
+	Overload  bool   // what the fleet's overload leaves is decided with the other instances in mind
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -122,6 +123,12 @@
 	default:
 		return nil, &ConfigError{"ROUTER_EVENTS", fmt.Errorf("%q is neither 0 nor 1", v)}
 	}
+	switch v := getenv("ROUTER_OVERLOAD"); v {
+	case "", "0", "1":
+		c.Overload = v == "1"
+	default:
+		return nil, &ConfigError{"ROUTER_OVERLOAD", fmt.Errorf("%q is neither 0 nor 1", v)}
+	}
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
 		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}, {"operator", cmp.Or(c.Operator, c.Listen)}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
@@ -146,7 +147,13 @@
 	}
 	var err error
 	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observe: observe})
-	s.endpoints, err = s.core.NewPool(engine.PoolConfig{Source: c.Discovery, Known: c.Known.Told(), Watch: s.source.Watch})
+	pool := engine.PoolConfig{Source: c.Discovery, Known: c.Known.Told(), Watch: s.source.Watch}
+	if c.Overload {
+		o := overload.Shipped()
+		o.Instances = c.Site.Settings.Balancers
+		pool.Overload = &o
+	}
+	s.endpoints, err = s.core.NewPool(pool)
 	if err != nil {
 		return nil, err
 	}
