Play faults between several processes: restart, stop, cut and deafen instances, in model and for real

Need: overload is to be shown by several processes of the program with faults between them; the rig knew no restart of a part of the instances, no stopped one, no cut link, and no sidecars.

--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -360,7 +360,13 @@
 		if err != nil {
 			return fmt.Errorf("scenario %s: %w", name, err)
 		}
-		got, err := r.Compare(ctx, lab.Plan{Scenario: s, A: v, First: c.First, Least: c.Seeds.Seeds})
+		own := v
+		if len(s.Settings) > 0 {
+			if own, err = lab.ParseVariant(strings.Join(append([]string{c.Settings}, s.Settings...), ",")); err != nil {
+				return fmt.Errorf("scenario %s: %w", name, err)
+			}
+		}
+		got, err := r.Compare(ctx, lab.Plan{Scenario: s, A: own, First: c.First, Least: c.Seeds.Seeds})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,108 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/lab/claim"
+	"dunlinsail/internal/lab/live"
+	"dunlinsail/internal/model/measure"
+	"dunlinsail/internal/model/scenario"
+)
+
+// Faulted is a scenario that was played by real processes, and how its claims stand.
+type Faulted struct {
+	Result *measure.Result
+	Claims []claim.Judgement
+	Failed bool
+	Kept   string // the folder with the evidence of a failed run; "" is none
+}
+
+// Faults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by that one
+// run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder of its own
+// below keep: the plan's scenario, the settings, what the processes logged, and all that it came to.
+func Faults(ctx context.Context, s *scenario.Scenario, v *Variant, program string, seed uint64, keep string) (*Faulted, error) {
+	own, err := config.Parse(v.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var log lines
+	plan := s.Draw(seed)
+	result, err := live.Run(ctx, live.Options{Plan: plan, Settings: v.Settings, Judge: judge(own), Daemon: program, Log: &log})
+	if err != nil {
+		return nil, fmt.Errorf("%s, seed %d: %w", s.Name, seed, err)
+	}
+	f := &Faulted{Result: result}
+	for _, text := range s.Expect {
+		c, err := claim.Parse(text, nil)
+		if err != nil {
+			return nil, err
+		}
+		j := c.Judge([]map[string]float64{result.Figures}, Confidence)
+		f.Claims = append(f.Claims, j)
+		f.Failed = f.Failed || j.Verdict == claim.Fails
+	}
+	if f.Failed && keep != "" {
+		f.Kept = filepath.Join(keep, fmt.Sprintf("%s-%s-%d", s.Name, filepath.Base(program), seed))
+		err = f.keep(s, v, plan, &log)
+	}
+	return f, err
+}
+
+// keep writes the evidence.
+func (f *Faulted) keep(s *scenario.Scenario, v *Variant, plan *scenario.Plan, log *lines) error {
+	if err := os.MkdirAll(f.Kept, 0o755); err != nil {
+		return err
+	}
+	text, err := s.Text()
+	if err != nil {
+		return err
+	}
+	all, err := json.MarshalIndent(struct {
+		Happenings []scenario.Happening
+		Result     *measure.Result
+	}{plan.Happenings, f.Result}, "", "\t")
+	if err != nil {
+		return err
+	}
+	for name, text := range map[string][]byte{"scenario.toml": text, "settings.toml": v.Settings, "result.json": all, "log": log.kept.Bytes()} {
+		if err := os.WriteFile(filepath.Join(f.Kept, name), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lines keeps what processes log, up to a bound: each write of a process is one of its own, from a goroutine of its own.
+type lines struct {
+	locked sync.Mutex
+	kept   bytes.Buffer
+}
+
+const logMost = 16 << 20
+
+// Write keeps a part of the log.
+func (l *lines) Write(p []byte) (int, error) {
+	l.locked.Lock()
+	defer l.locked.Unlock()
+	if l.kept.Len() < logMost {
+		l.kept.Write(p)
+	}
+	return len(p), nil
+}
+
+// Summary is a line of the figures that matter where much goes wrong.
+func (f *Faulted) Summary() string {
+	var parts []string
+	for _, name := range []string{"whole", "further_peak", "probes_first", "probes_peak", "back", "breaks"} {
+		parts = append(parts, fmt.Sprintf("%s %.3g", name, f.Result.Figures[name]))
+	}
+	return strings.Join(parts, "  ")
+}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -46,7 +46,7 @@
 	Plan     *scenario.Plan
 	Settings []byte // a daemon's file; its listeners, clients, discovery and fleet are filled in
 	Judge    measure.Judge
-	Daemon   string    // the program
+	Daemon   string    // the program: dunlinsaild, or dunlinsail, the platform's sidecar
 	Log      io.Writer // of the daemons; nil is nowhere
 }
 
@@ -97,6 +97,8 @@
 	ended  chan struct{} // closed once the process has
 	killed *atomic.Bool  // by us
 
+	thawed atomic.Int64 // microseconds of the run until which it was stopped last; in the future while it is
+
 	roster *roster.Server
 	addrs  []string // of its listeners, one for each client process
 	asks   []*http.Client
@@ -129,6 +131,13 @@
 	return r.base.Add(time.Duration(at+r.offset.Load()) * time.Microsecond)
 }
 
+// arrived notes what came at an endpoint. The caller counts: it holds mu.
+func (r *run) arrived(node int, what measure.Arrival) {
+	if r.meter != nil {
+		r.meter.Arrived(r.now(), node, what)
+	}
+}
+
 func (r *run) count(f func(c *counts)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -197,8 +206,11 @@
 		}
 	}
 	// The run begins now: what endpoints were before counts for nothing.
-	r.meter = measure.New(o.Judge, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
-	r.count(func(c *counts) { *c = counts{} })
+	r.count(func(c *counts) {
+		*c = counts{}
+		r.meter = measure.New(o.Judge, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
+		r.meter.Cause(o.Plan.Trouble())
+	})
 	var worked float64
 	for _, e := range r.endpoints {
 		e.mu.Lock()
@@ -334,7 +346,11 @@
 	if in.roster, err = roster.Start(entries...); err != nil {
 		return nil, err
 	}
-	for range r.plan.Clients.Processes {
+	listeners := r.plan.Clients.Processes
+	if isSidecar(r.o.Daemon) {
+		listeners = 1 // it is one application's
+	}
+	for range listeners {
 		addr, err := port.Free()
 		if err != nil {
 			return nil, err
@@ -342,11 +358,15 @@
 		in.addrs = append(in.addrs, addr)
 		in.asks = append(in.asks, &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}})
 	}
-	text, err := r.file(in)
+	write, name := r.file, "instance-%d.toml"
+	if isSidecar(r.o.Daemon) {
+		write, name = r.sidecarFile, "instance-%d.json"
+	}
+	text, err := write(in)
 	if err != nil {
 		return nil, err
 	}
-	in.config = filepath.Join(r.dir, fmt.Sprintf("instance-%d.toml", n))
+	in.config = filepath.Join(r.dir, fmt.Sprintf(name, n))
 	if err := os.WriteFile(in.config, text, 0o600); err != nil {
 		return nil, err
 	}
@@ -396,8 +416,16 @@
 func (r *run) launch(in *instance) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.cmd = exec.Command(r.o.Daemon, "--config", in.config)
-	in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if isSidecar(r.o.Daemon) {
+		in.cmd = exec.Command(r.o.Daemon)
+		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "ROUTER_CONFIG="+in.config)
+		if r.own.Overload.On {
+			in.cmd.Env = append(in.cmd.Env, "ROUTER_OVERLOAD=1")
+		}
+	} else {
+		in.cmd = exec.Command(r.o.Daemon, "--config", in.config)
+		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	in.cmd.Stderr = r.o.Log
 	in.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := in.cmd.Start(); err != nil {
@@ -426,6 +454,36 @@
 	<-in.ended
 }
 
+// freeze stops instances (SIGSTOP): they keep what they hold, and do nothing.
+func (r *run) freeze(instances []int, until Micros) {
+	for _, n := range instances {
+		in := r.instances[n]
+		in.thawed.Store(max(in.thawed.Load(), until+frozenSlack))
+		in.signal(syscall.SIGSTOP)
+	}
+}
+
+// thaw has them go on.
+func (r *run) thaw(instances []int) {
+	for _, n := range instances {
+		in := r.instances[n]
+		in.signal(syscall.SIGCONT)
+		in.thawed.Store(r.now() + frozenSlack)
+	}
+}
+
+// frozenSlack is until when after its going on an instance is not held to answers in time, in microseconds: what had come
+// meanwhile comes to it at once.
+const frozenSlack = 100_000
+
+func (in *instance) signal(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.ended != nil && !in.killed.Load() {
+		in.cmd.Process.Signal(s)
+	}
+}
+
 // ready waits until an instance serves.
 func (r *run) ready(ctx context.Context, in *instance) error {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
@@ -488,8 +546,9 @@
 // job is a request at an endpoint.
 type job struct {
 	node.Job
-	story *story
-	try   int
+	story   *story
+	try     int
+	further bool // its instance sent the request before
 }
 
 // job makes an endpoint's request of what came.
@@ -508,7 +567,7 @@
 	}
 	which := uint64(try)<<8 | uint64(s.count[try])
 	s.count[try]++
-	j := &job{story: s, try: try}
+	j := &job{story: s, try: try, further: s.count[try] > 1}
 	c := 0
 	for i, at := range r.classOf {
 		if at == s.Class {
@@ -604,6 +663,7 @@
 
 // try makes one request and waits for what comes of it.
 func (r *run) try(ctx context.Context, s *story, t caller.Try) (caller.Verdict, Micros) {
+	began := r.now()
 	r.count(func(*counts) { r.meter.Costs.Tries++ })
 	// A client that waits to the end is there a little longer, to see whether an answer that is owed comes at all.
 	until := t.Deadline + lateMost
@@ -642,7 +702,8 @@
 		resp.Body.Close()
 	}
 	if err != nil {
-		if errors.Is(err, context.DeadlineExceeded) && t.Leaves == 0 {
+		// An instance that was stopped meanwhile owes nothing.
+		if errors.Is(err, context.DeadlineExceeded) && t.Leaves == 0 && in.thawed.Load() < began {
 			r.count(func(c *counts) { c.late++ })
 		}
 		return caller.Broken, 0
@@ -816,10 +877,8 @@
 						kill(false)(n)
 					}
 				}
-				for _, in := range r.instances {
-					if h.Zone < 0 || r.plan.Instances[in.n].Zone == h.Zone {
-						in.kill()
-					}
+				for _, n := range h.Instances {
+					r.instances[n].kill()
 				}
 			})
 			back := func() {
@@ -828,11 +887,9 @@
 						up(n)
 					}
 				}
-				for _, in := range r.instances {
-					if h.Zone < 0 || r.plan.Instances[in.n].Zone == h.Zone {
-						if err := r.launch(in); err != nil {
-							r.fail(err)
-						}
+				for _, n := range h.Instances {
+					if err := r.launch(r.instances[n]); err != nil {
+						r.fail(err)
 					}
 				}
 			}
@@ -841,6 +898,28 @@
 			} else {
 				r.at(ctx, beside, h.At+1_000_000, back)
 			}
+		case "freeze":
+			for at := h.At; at < min(h.Until, end); at += 2 * h.Every {
+				until, _ := h.Frozen(at)
+				r.at(ctx, beside, at, func() { r.freeze(h.Instances, until) })
+				r.at(ctx, beside, until, func() { r.thaw(h.Instances) })
+				if h.Every <= 0 {
+					break
+				}
+			}
+		case "deaf":
+			deafen := func(on bool) func() {
+				return func() {
+					for _, n := range h.Instances {
+						r.instances[n].roster.Silence(on)
+					}
+				}
+			}
+			r.at(ctx, beside, h.At, deafen(true))
+			over(deafen(false))
+		case "sever":
+			r.at(ctx, beside, h.At, r.hush)
+			over(r.hush)
 		}
 	}
 	for n := range r.endpoints {
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
 	"dunlinsail/internal/standin/port"
@@ -93,12 +94,18 @@
 	return e.hushLocked()
 }
 
-// silent says whether nothing comes through between an instance and the endpoint.
-func (f *front) silent() bool {
+// silent says whether nothing comes through between an instance and the endpoint, towards the endpoint or back.
+func (f *front) silent(back bool) bool {
 	e := f.e
 	e.mu.Lock()
 	mute := e.mute
 	e.mu.Unlock()
+	now := e.run.now()
+	for i := range e.run.plan.Happenings {
+		if e.run.plan.Happenings[i].Severs(now, f.instance, e.n, back) {
+			return true
+		}
+	}
 	return mute || e.run.cut(e.run.plan.Instances[f.instance].Zone, e.plan.Zone)
 }
 
@@ -113,7 +120,7 @@
 	var g errgroup.Group
 	for _, f := range e.fronts {
 		if f.http != nil {
-			g.Go(func() error { return f.ln.silence(f.silent()) })
+			g.Go(func() error { return f.ln.silence(f.silent(false) || f.silent(true)) })
 		}
 	}
 	return g.Wait()
@@ -126,7 +133,10 @@
 	switch s {
 	case http.StateNew:
 		e.conns[c] = struct{}{}
-		e.run.count(func(c *counts) { c.dials++ })
+		e.run.count(func(c *counts) {
+			c.dials++
+			e.run.arrived(e.n, measure.Dial)
+		})
 		e.node.Connect()
 	case http.StateClosed, http.StateHijacked:
 		delete(e.conns, c)
@@ -287,13 +297,13 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := f.e
 	f.way()
-	if f.silent() {
+	if f.silent(false) {
 		io.Copy(io.Discard, r.Body) // package http notices that its connection ends only once the body is read
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	if strings.HasPrefix(r.URL.Path, "/-/") {
-		f.probe(w)
+		f.probe(r.Context(), w)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -306,6 +316,11 @@
 	}
 	e.run.count(func(c *counts) {
 		c.attempts++
+		if job.further {
+			e.run.arrived(e.n, measure.Further)
+		} else {
+			e.run.arrived(e.n, measure.First)
+		}
 		if e.run.plan.Instances[f.instance].Zone != e.plan.Zone {
 			c.cross++
 		}
@@ -329,7 +344,7 @@
 		v = f.wait(r.Context(), job, wait)
 	}
 	f.way()
-	if f.silent() {
+	if f.silent(true) {
 		v = node.Muted
 	}
 	switch v {
@@ -374,18 +389,26 @@
 }
 
 // probe answers with a load report.
-func (f *front) probe(w http.ResponseWriter) {
+func (f *front) probe(ctx context.Context, w http.ResponseWriter) {
 	e := f.e
-	e.run.count(func(c *counts) { c.probes++ })
+	e.run.count(func(c *counts) {
+		c.probes++
+		e.run.arrived(e.n, measure.Probe)
+	})
 	e.mu.Lock()
 	e.work()
 	l := e.node.Probe(e.run.now(), e.run.reports)
 	e.mu.Unlock()
-	values := map[string]float64{"inflight": l.Inflight, "queue": l.Queue, "util": l.Util, "latency_ms": l.LatencyMS, "qps": l.Served, "eps": l.Errors}
+	values := map[balancer.Field]float64{balancer.FieldInflight: l.Inflight, balancer.FieldQueue: l.Queue, balancer.FieldUtil: l.Util,
+		balancer.FieldLatency: l.LatencyMS, balancer.FieldServed: l.Served, balancer.FieldErrors: l.Errors}
 	var parts []string
-	for _, name := range e.run.site.Fields {
-		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(values[name], 'f', 4, 64)))
+	for i, name := range e.run.fieldNames() {
+		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(values[e.run.site.Settings.Fields[i]], 'f', 4, 64)))
 	}
 	f.way()
+	if f.silent(true) {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
 	io.WriteString(w, "TEXT "+strings.Join(parts, ", "))
 }
--- a/internal/model/discovery.go
+++ b/internal/model/discovery.go
@@ -121,10 +121,31 @@
 	if w.in.down || w.life != w.in.life {
 		return
 	}
+	if w.in.deaf > 0 {
+		w.in.held = append(w.in.held, w)
+		return
+	}
 	w.in.tell(w.told)
 	w.in.settle()
 }
 
+// hears ends what kept discovery's words from an instance: it is told what it missed, or all if it knows nothing.
+func (in *instance) hears() {
+	if in.deaf--; in.deaf > 0 || in.down {
+		return
+	}
+	held := in.held
+	in.held = nil
+	if !in.listed {
+		in.tell(in.run.truth.whole(in, balancer.ListFull))
+		in.settle()
+		return
+	}
+	for _, w := range held {
+		w.arrive()
+	}
+}
+
 // tell tells an instance's engine.
 func (in *instance) tell(t engine.Told) {
 	in.listed = true
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/model/node"
@@ -75,14 +76,20 @@
 	case "silent":
 		r.truth.silent = true
 	case "restart":
-		for _, in := range r.instances {
-			if h.Zone < 0 || in.zone == h.Zone {
-				r.killInstance(in)
-				if h.Until == math.MaxInt64 {
-					r.queue.push(r.now+second, evBack, 0, in)
-				}
+		for _, n := range h.Instances {
+			r.killInstance(r.instances[n])
+			if h.Until == math.MaxInt64 {
+				r.queue.push(r.now+second, evBack, 0, r.instances[n])
 			}
 		}
+	case "freeze":
+		r.step(i, 0)
+	case "deaf":
+		for _, n := range h.Instances {
+			r.instances[n].deaf++
+		}
+	case "sever":
+		r.severs = append(r.severs, i)
 	case "power":
 		for n := range r.endpoints {
 			r.kill(n, false)
@@ -138,11 +145,17 @@
 	case "silent":
 		r.truth.speak()
 	case "restart":
-		for _, in := range r.instances {
-			if in.down && (h.Zone < 0 || in.zone == h.Zone) {
+		for _, n := range h.Instances {
+			if in := r.instances[n]; in.down {
 				in.start(false)
 			}
 		}
+	case "deaf":
+		for _, n := range h.Instances {
+			r.instances[n].hears()
+		}
+	case "sever":
+		r.severs = slices.DeleteFunc(r.severs, func(at int) bool { return at == i })
 	case "power":
 		for _, e := range r.endpoints {
 			e.start(false)
@@ -162,6 +175,16 @@
 		return
 	}
 	switch h.What {
+	case "freeze":
+		until, frozen := h.Frozen(r.now)
+		for _, n := range h.Instances {
+			if frozen {
+				r.instances[n].frozen = max(r.instances[n].frozen, until)
+			}
+		}
+		if h.Every > 0 {
+			r.queue.push(r.now+h.Every, evStep, uint32(i), at+1)
+		}
 	case "neighbour":
 		for _, n := range h.Nodes {
 			r.conditions(n)
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -12,6 +12,7 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
+	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/site"
 )
@@ -24,6 +25,10 @@
 	life uint32 // changes at each start: what belongs to an earlier one is passed over
 	down bool
 
+	frozen Micros  // it is stopped until then
+	deaf   int     // what keeps discovery's words from it
+	held   []*news // meanwhile
+
 	engine  *engine.Engine
 	pool    *engine.Pool
 	clients []*engine.Client // of each process
@@ -129,9 +134,9 @@
 			panic(err) // the same settings were taken before
 		}
 	}
-	in.down, in.wakeAt = false, 0
+	in.down, in.wakeAt, in.frozen, in.held = false, 0, 0, nil
 	in.pool.Begin(in.local())
-	if first || !in.run.truth.silent {
+	if first || !in.run.truth.silent && in.deaf == 0 {
 		in.tell(in.run.truth.whole(in, balancer.ListFull))
 	}
 	in.settle()
@@ -457,7 +462,7 @@
 	s.status = balancer.ConnectFailed
 	there := s.way(3)
 	switch {
-	case s.to.mute || r.network.cut(in.zone, s.to.zone()):
+	case s.to.mute || r.cutAny(in, s.to):
 		r.queue.push(r.now+dial, evNoConn, 0, s)
 	case !s.to.node.Up() || !s.to.node.Connect():
 		r.queue.push(r.now+in.overhead()+2*there, evNoConn, 0, s)
@@ -466,6 +471,7 @@
 	default:
 		s.conn = s.to.life
 		r.meter.Costs.Dials++
+		r.meter.Arrived(r.now, s.to.n, measure.Dial)
 		r.queue.push(r.now+in.overhead()+2*there, evConnected, 0, s)
 	}
 }
@@ -579,11 +585,12 @@
 // reach is the request's arrival at the endpoint.
 func (s *sending) reach() {
 	r, e := s.in.run, s.to
-	if e.mute || r.network.cut(s.in.zone, e.zone()) {
+	if e.mute || r.cut(s.in, e, false) {
 		return // nobody hears it, and nobody says so
 	}
 	m := &r.meter.Costs
 	m.Attempts++
+	r.meter.Arrived(r.now, e.n, kindOf(s.a.Number))
 	if e.zone() != s.in.zone {
 		m.Cross++
 	}
@@ -613,6 +620,14 @@
 	}
 }
 
+// kindOf is what kind of arrival an attempt is, by its number among its request's.
+func kindOf(attempt int) measure.Arrival {
+	if attempt == 0 {
+		return measure.First
+	}
+	return measure.Further
+}
+
 // planClass is the place among the plan's classes of one of the judge's.
 func (r *run) planClass(class int) int {
 	for i, at := range r.classOf {
@@ -626,7 +641,7 @@
 // reply sends a reply on its way.
 func (s *sending) reply(status balancer.Status) {
 	r := s.in.run
-	if r.network.cut(s.in.zone, s.to.zone()) {
+	if r.cut(s.in, s.to, true) {
 		return
 	}
 	s.status = status
@@ -686,7 +701,7 @@
 	r := in.run
 	in.probes++
 	p := &probe{in: in, e: e, to: e.Target.(target).e, pool: in.pool, life: in.life, n: in.probes, sent: in.local()}
-	if p.to.mute || r.network.cut(in.zone, p.to.zone()) {
+	if p.to.mute || r.cutAny(in, p.to) {
 		p.reply.Status = balancer.Timeout
 		r.queue.push(r.now+probeTime, evProbed, 0, p)
 		return
@@ -704,6 +719,7 @@
 	case !p.to.node.Up():
 		p.reply.Status = balancer.ConnectFailed
 	default:
+		r.meter.Arrived(r.now, p.to.n, measure.Probe)
 		r.meter.Costs.Probes++ // those that reach an endpoint, as that counts them
 		load := p.to.node.Probe(r.now, r.reports.For(uint64(p.in.n), p.n))
 		for _, f := range p.in.site.Settings.Fields {
--- /dev/null
+++ b/internal/model/measure/arrivals.go
@@ -0,0 +1,100 @@
+package measure
+
+// Arrival is what comes at an endpoint.
+type Arrival uint8
+
+// The kinds.
+const (
+	First   Arrival = iota // the first attempt of a request
+	Further                // one beyond it, or beside it
+	Probe
+	Dial // a new connection
+)
+
+// Second is what came at all endpoints within a second of a run, and at the one to which most probes and most new
+// connections came.
+type Second struct {
+	First, Further, Probes, Dials int
+	ProbesMost, DialsMost         int
+}
+
+// arrivals counts what comes at endpoints, second by second.
+type arrivals struct {
+	seconds     []Second
+	at          Micros // the second that probes and dials are of
+	probes      []int  // in it, by endpoint
+	dials       []int  // the same
+	from, until Micros // when what goes wrong begins, and has ended
+}
+
+// Arrived tells what came at an endpoint at an instant.
+func (m *Meter) Arrived(now Micros, node int, what Arrival) {
+	a := &m.arrived
+	n := now / second
+	if n < 0 || n >= Micros(len(a.seconds)) {
+		return
+	}
+	if n != a.at {
+		a.at = n
+		clear(a.probes)
+		clear(a.dials)
+	}
+	for len(a.probes) <= node {
+		a.probes, a.dials = append(a.probes, 0), append(a.dials, 0)
+	}
+	s := &a.seconds[n]
+	switch what {
+	case First:
+		s.First++
+	case Further:
+		s.Further++
+	case Probe:
+		s.Probes++
+		a.probes[node]++
+		s.ProbesMost = max(s.ProbesMost, a.probes[node])
+	case Dial:
+		s.Dials++
+		a.dials[node]++
+		s.DialsMost = max(s.DialsMost, a.dials[node])
+	}
+}
+
+// Cause tells when what goes wrong begins, and when all of it has ended.
+func (m *Meter) Cause(from, until Micros) { m.arrived.from, m.arrived.until = from, until }
+
+const (
+	firstLeast = 100        // first attempts in a second from which on a part of them says something
+	backAfter  = 3 * second // what has ended is to be over after so long
+)
+
+// figures adds what the seconds come to.
+func (a *arrivals) figures(f map[string]float64, worth []worths) {
+	first, probes := 0, 0
+	for i := range a.seconds {
+		s := &a.seconds[i]
+		first += s.First
+		probes += s.Probes
+		if s.First >= firstLeast {
+			f["further_peak"] = max(f["further_peak"], float64(s.Further)/float64(s.First))
+		}
+		f["probes_peak"] = max(f["probes_peak"], float64(s.ProbesMost))
+		f["dials_peak"] = max(f["dials_peak"], float64(s.DialsMost))
+	}
+	f["further_peak"] += 0 // a figure, also where nothing came
+	f["probes_first"] = float64(probes) / max(1, float64(first))
+	f["back"] = 1
+	before, after := sum(worth, 0, a.from), sum(worth, a.until+backAfter, Micros(len(worth))*second)
+	if a.until > 0 && before.asked > 0 && after.asked > 0 {
+		f["back"] = min(1, after.share()/max(1e-9, before.share()))
+	}
+}
+
+// sum is the worth of the seconds that lie within.
+func sum(worth []worths, from, until Micros) (w worths) {
+	for i := range worth {
+		if at := Micros(i) * second; at >= from && at+second <= until {
+			w.add(worth[i].asked, worth[i].earned)
+		}
+	}
+	return w
+}
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -77,6 +77,7 @@
 	stories int64
 	refused int64 // stories that ended unserved with a refusal as their last word
 	tries   struct{ refused, failed, lost int64 }
+	arrived arrivals
 	took    []*hdrhistogram.Histogram // of each class
 	digest  *xxhash.Digest
 
@@ -119,6 +120,7 @@
 		m.bins[i].zone = make([]worths, zones)
 	}
 	m.seconds = make([]worths, (length+second-1)/second)
+	m.arrived.seconds = make([]Second, len(m.seconds))
 	m.classes, m.tenants = make([]part, len(j.Classes)), make([]part, len(j.Tenants))
 	m.buckets = make([]bucket, len(j.Tenants))
 	for i := range m.buckets {
@@ -240,6 +242,7 @@
 	Series  Series
 	Nodes   []NodeLoad
 	Classes []ClassTimes
+	Seconds []Second      // what came at endpoints
 	Took    time.Duration `json:"-"` // of the computer, not of the run
 }
 
@@ -316,6 +319,7 @@
 	f["dials"] = float64(c.Dials) / n
 	f["waste"] = max(0, c.Worked-c.Useful) / math.Max(1, c.Offered)
 	f["late_fail"] = m.lateOut / math.Max(1e-9, m.worth.asked)
+	m.arrived.figures(f, m.seconds)
 	f["breaks"] = float64(c.Falls + c.Drained + c.Twice + c.LateAnswer)
 	g, p := &m.judge.Goal, &m.judge.Prices
 	weights := g.Whole + g.WorstWindow + g.WorstClass + g.WorstTenant
@@ -325,7 +329,7 @@
 		f["service"] = (g.Whole*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] + g.WorstTenant*f["worst_tenant"]) / weights
 	}
 	f["service"] -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
-	r.Series = m.series()
+	r.Series, r.Seconds = m.series(), m.arrived.seconds
 	return r
 }
 
@@ -458,6 +462,11 @@
 	{"dials", "new connections to endpoints, a story", "a story", -1, 0.01, false},
 	{"waste", "endpoints' work without an answer that a client took, of all work asked for", "", -1, 0.005, false},
 	{"late_fail", "worth that was unserved past its aim", "", -1, 0.002, false},
+	{"further_peak", "further attempts for each first one that reached endpoints, in the worst second of a hundred first ones or more", "", -1, 0.01, false},
+	{"probes_peak", "probes a second at one endpoint, in the worst second of any", "", -1, 1, false},
+	{"probes_first", "probes for each first attempt", "", -1, 0.02, false},
+	{"dials_peak", "new connections a second at one endpoint, in the worst second of any", "", -1, 1, false},
+	{"back", "service from 3 s after the last of what goes wrong has ended, against that before the first began; 1 at the most", "", 1, 0.01, false},
 	{"breaks", "rules broken", "", -1, 0, true},
 }
 
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -110,6 +110,7 @@
 
 	instances []*instance
 	endpoints []*endpoint
+	severs    []int // happenings that keep ways apart
 	truth     *truth
 	network   network
 
@@ -150,6 +151,7 @@
 		r.nextStory(in)
 	}
 	r.schedule()
+	r.meter.Cause(r.plan.Trouble())
 	if err := r.play(ctx); err != nil {
 		return nil, err
 	}
@@ -224,6 +226,7 @@
 	evStart                 // n: an endpoint starts
 	evBack                  // p: *instance; it starts anew
 	evPause                 // n: an endpoint stops for a moment
+	evGone                  // p: *try; its instance goes on and sees that its client has left
 )
 
 // play handles events until there are none that matter any more.
@@ -249,6 +252,13 @@
 }
 
 func (r *run) handle(e *event) {
+	if in := host(e); in != nil && in.frozen > r.now && !in.down {
+		if e.kind == evWake {
+			in.wakeAt = in.frozen
+		}
+		r.queue.push(in.frozen, e.kind, e.n, e.p)
+		return
+	}
 	switch e.kind {
 	case evArrive:
 		r.arrive(r.instances[e.n])
@@ -298,9 +308,30 @@
 		e.p.(*instance).start(false)
 	case evPause:
 		r.endpoints[e.n].pause()
+	case evGone:
+		if t := e.p.(*try); t.life == t.in.life && !t.in.down {
+			t.in.left(t)
+		}
 	}
 }
 
+// host is the instance whose process handles an event, nil for what happens elsewhere.
+func host(e *event) *instance {
+	switch e.kind {
+	case evSubmit, evGone:
+		return e.p.(*try).in
+	case evWake:
+		return e.p.(*instance)
+	case evConnected, evNoConn, evReply:
+		return e.p.(*sending).in
+	case evProbed:
+		return e.p.(*probe).in
+	case evTold:
+		return e.p.(*news).in
+	}
+	return nil
+}
+
 // ---- Clients ---------------------------------------------------------------
 
 // story is a client's, with what the run needs of it.
@@ -411,12 +442,16 @@
 		return
 	}
 	r := t.story.run
-	if r.now >= t.Deadline && t.taken && t.life == t.in.life && !t.has {
+	if r.now >= t.Deadline && t.taken && t.life == t.in.life && !t.has && t.in.frozen < t.sent {
 		r.meter.Costs.LateAnswer++ // a running instance that took it owed an answer by now
 	}
 	r.trace(t, -1, "", "leaves")
 	if t.taken && t.life == t.in.life && !t.in.down {
-		t.in.left(t)
+		if t.in.frozen > r.now {
+			r.queue.push(t.in.frozen, evGone, 0, t)
+		} else {
+			t.in.left(t)
+		}
 	}
 	t.over(caller.Broken, 0)
 }
--- a/internal/model/network.go
+++ b/internal/model/network.go
@@ -59,6 +59,21 @@
 	return n.delay(mean, 1, who, which, what)
 }
 
+// cut says whether nothing comes through between an instance and an endpoint, towards the endpoint or back.
+func (r *run) cut(in *instance, e *endpoint, back bool) bool {
+	for _, i := range r.severs {
+		if r.plan.Happenings[i].Severs(r.now, in.n, e.n, back) {
+			return true
+		}
+	}
+	return r.network.cut(in.zone, e.zone())
+}
+
+// cutAny says whether a connection cannot be opened: words of both ways are needed for it.
+func (r *run) cutAny(in *instance, e *endpoint) bool {
+	return r.cut(in, e, false) || r.cut(in, e, true)
+}
+
 // cut says whether nothing comes through between two zones.
 func (n *network) cut(a, b int) bool {
 	if a == b {
--- a/internal/model/scenario/ideal.go
+++ b/internal/model/scenario/ideal.go
@@ -12,10 +12,9 @@
 	var asked, could float64
 	backlog := 0.0
 	work := p.MeanWork()
-	kinds := p.kinds(0)
+	times := p.surges()
 	for at := Micros(0); at < p.Length.Micros(); at += idealStep {
-		kinds.at(at)
-		demand := p.Rate * p.Times(at) * kinds.sum * float64(idealStep) / float64(second)
+		demand := p.Rate * p.Times(at) * times(at) * float64(idealStep) / float64(second)
 		capacity := p.capacity(at) * float64(idealStep) / work
 		asked += demand
 		served := min(demand+backlog, capacity)
@@ -28,6 +27,27 @@
 	return min(1, could/asked)
 }
 
+// surges returns how many times the traffic of all instances is at an instant, beside the shape.
+func (p *Plan) surges() func(at Micros) float64 {
+	var all []*kinds
+	for i := range p.Instances {
+		if k := p.kinds(i); k.surges || i == 0 {
+			all = append(all, k)
+		}
+	}
+	return func(at Micros) (times float64) {
+		if len(all) == 1 {
+			all[0].at(at)
+			return all[0].sum
+		}
+		for i, k := range all {
+			k.at(at)
+			times += k.sum * p.Instances[i].Share
+		}
+		return times
+	}
+}
+
 // capacity is the useful work that all endpoints can do in a microsecond at an instant.
 func (p *Plan) capacity(at Micros) float64 {
 	speed := make([]float64, len(p.Nodes))
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -62,6 +62,26 @@
 	Zone, To  int       // -1 is all
 	Every     Micros
 	Delay     Micros
+	Instances []int // of what happens to instances, or on their ways
+	Way       string
+}
+
+// Frozen says whether what happens at an instant stops an instance, and until when at least.
+func (h *Happening) Frozen(now Micros) (until Micros, yes bool) {
+	if h.What != "freeze" || now < h.At || now >= h.Until {
+		return 0, false
+	}
+	if h.Every <= 0 {
+		return h.Until, true
+	}
+	turn := (now - h.At) / h.Every
+	return min(h.Until, h.At+(turn+1)*h.Every), turn%2 == 0
+}
+
+// Severs says whether it lets nothing through between an instance and an endpoint, towards the endpoint or back.
+func (h *Happening) Severs(now Micros, instance, node int, back bool) bool {
+	return h.What == "sever" && now >= h.At && now < h.Until && (h.Way == "" || (h.Way == "from") == back) &&
+		has(h.Instances, instance) && has(h.Nodes, node)
 }
 
 // Source gives the stories of an instance in the order in which they begin, in place of those that a plan draws.
@@ -187,6 +207,26 @@
 	return mine
 }
 
+// chooseInstances returns the instances that an event happens to. Of what happens on ways its zone is the endpoints'.
+func (p *Plan) chooseInstances(e *Event, r *rand.Rand) []int {
+	var from []int
+	for i, in := range p.Instances {
+		if e.Zone == "" || what[e.What].nodes || p.Fleet.Zones[in.Zone] == e.Zone {
+			from = append(from, i)
+		}
+	}
+	n := len(from)
+	if len(e.Instances) > 0 {
+		n = int(math.Round(lots.Range(r, e.Instances.ends(1)) * float64(n)))
+	}
+	var mine []int
+	for _, at := range r.Perm(len(from))[:n] {
+		mine = append(mine, from[at])
+	}
+	slices.Sort(mine)
+	return mine
+}
+
 func (p *Plan) drawHappenings() {
 	stream := lots.New(p.Seed, "events")
 	for i := range p.Events {
@@ -221,6 +261,8 @@
 		} else {
 			h.Sizes = []float64{lots.Range(r, e.Size.ends(0))}
 		}
+		h.Way = e.Way
+		h.Instances = p.chooseInstances(e, stream.For(uint64(i), 1))
 		p.Happenings = append(p.Happenings, h)
 	}
 	slices.SortStableFunc(p.Happenings, func(a, b Happening) int { return cmp.Compare(a.At, b.At) })
@@ -275,13 +317,13 @@
 	return a.Times + (b.Times-a.Times)*part
 }
 
-// surge is how many times the traffic of an instance's zone, a class, a tenant and a client process is at an instant,
-// beside the shape.
-func (p *Plan) surge(at Micros, zone, class, tenant, process int) float64 {
+// surge is how many times the traffic of an instance, a class, a tenant and a client process is at an instant, beside the
+// shape.
+func (p *Plan) surge(at Micros, instance, class, tenant, process int) float64 {
 	v := 1.0
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
-		if h.What == "surge" && at >= h.At && at < h.Until && (h.Zone < 0 || h.Zone == zone) && (h.Class < 0 || h.Class == class) &&
+		if h.What == "surge" && at >= h.At && at < h.Until && has(h.Instances, instance) && (h.Class < 0 || h.Class == class) &&
 			(h.Tenant < 0 || h.Tenant == tenant) && (!h.One || process == 0) {
 			v *= h.Sizes[0]
 		}
@@ -292,7 +334,7 @@
 // kinds are whose and what a story may be: a weight for each class, tenant and client process.
 type kinds struct {
 	plan      *Plan
-	zone      int
+	instance  int
 	tenants   int
 	processes int
 	weights   []float64
@@ -301,8 +343,8 @@
 	sum       float64
 }
 
-func (p *Plan) kinds(zone int) *kinds {
-	k := &kinds{plan: p, zone: zone, tenants: max(1, len(p.Tenants)), processes: p.Clients.Processes}
+func (p *Plan) kinds(instance int) *kinds {
+	k := &kinds{plan: p, instance: instance, tenants: max(1, len(p.Tenants)), processes: p.Clients.Processes}
 	var classes, shares float64
 	for _, c := range p.Classes {
 		classes += c.Share
@@ -337,7 +379,7 @@
 	k.sum = 0
 	for i, w := range k.base {
 		class, tenant, process := k.of(i)
-		k.weights[i] = w * k.plan.surge(at, k.zone, class, tenant, process)
+		k.weights[i] = w * k.plan.surge(at, k.instance, class, tenant, process)
 		k.sum += k.weights[i]
 	}
 }
@@ -361,7 +403,7 @@
 	in := &p.Instances[instance]
 	arrivals := lots.New(p.Seed, "arrivals").Source(uint64(instance))
 	stories := lots.New(p.Seed, "stories")
-	kinds := p.kinds(in.Zone)
+	kinds := p.kinds(instance)
 	// Thinning (Lewis, Shedler: "Simulation of nonhomogeneous Poisson processes by thinning", 1979): the rate is drawn at
 	// its height, and a part of the arrivals taken.
 	most := 0.0
@@ -420,3 +462,25 @@
 	}
 	return max(1, Micros(mean))
 }
+
+// Trouble is when the first of what happens begins and the last ends that does end; both 0 where nothing happens.
+func (p *Plan) Trouble() (from, until Micros) {
+	for i := range p.Happenings {
+		h := &p.Happenings[i]
+		if i == 0 {
+			from = h.At
+		}
+		end := h.Until
+		if end == math.MaxInt64 {
+			end = h.At
+		}
+		until = max(until, end)
+	}
+	return from, until
+}
+
+// has says whether a sorted list has a number.
+func has(list []int, n int) bool {
+	_, yes := slices.BinarySearch(list, n)
+	return yes
+}
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -36,7 +36,8 @@
 	Shape     []Shape   `toml:"shape,omitempty"`
 	Events    []Event   `toml:"event,omitempty"`
 	Replay    *Replay   `toml:"replay,omitempty"`
-	Expect    []string  `toml:"expect,omitempty"` // claims that must hold of the shipped settings (package claim)
+	Settings  []string  `toml:"settings,omitempty"` // KEY=VALUE: edits to the settings by which its claims are judged
+	Expect    []string  `toml:"expect,omitempty"`   // claims that must hold of the shipped settings (package claim)
 }
 
 // Fleet is the instances.
@@ -172,6 +173,10 @@
 	Every  strict.Duration `toml:"every,omitempty"`  // neighbour: on and off; rolling: one after another
 	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, stale
 	To     string          `toml:"to,omitempty"`     // cut: the other zone; none is all
+
+	// Which instances, of what happens to instances or on their ways: a part of those of the zone, all without it.
+	Instances Range  `toml:"instances,omitempty"`
+	Way       string `toml:"way,omitempty"` // sever: "to" the endpoints, "from" them, both without it
 }
 
 // Range is one number, or two between which one is drawn.
@@ -235,7 +240,10 @@
 	"surge":        {false, "times the traffic"},
 	"stale":        {false, ""},
 	"silent":       {false, ""}, // discovery says nothing
+	"sever":        {true, ""},  // nothing comes through between instances and endpoints
 	"restart":      {false, ""}, // instances are killed and begin anew, with what they had open lost
+	"freeze":       {false, ""}, // instances are stopped, and go on at its end with what they held
+	"deaf":         {false, ""}, // instances hear nothing of discovery, and all of it at its end
 	"power":        {false, ""}, // all endpoints and instances begin anew at once
 }
 
@@ -329,9 +337,10 @@
 		*at = &own
 	}
 	c.Shape, c.Events, c.Expect = slices.Clone(s.Shape), slices.Clone(s.Events), slices.Clone(s.Expect)
+	c.Settings = slices.Clone(s.Settings)
 	for i := range c.Events {
 		e := &c.Events[i]
-		e.Part, e.Size = slices.Clone(e.Part), slices.Clone(e.Size)
+		e.Part, e.Size, e.Instances = slices.Clone(e.Part), slices.Clone(e.Size), slices.Clone(e.Instances)
 		for _, at := range []**strict.Span{&e.At, &e.For, &e.Delay} {
 			if *at != nil {
 				own := **at
@@ -490,6 +499,11 @@
 	k.That(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
 	k.That(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
 	k.That(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
+	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "surge"
+	k.That(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
+	checkRange(k, at("instances"), e.Instances, 0, 1)
+	strict.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
+	k.That(e.Way == "" || e.What == "sever", at("way"), "is for sever only")
 	k.That(kind.nodes || e.Kind == "", at("kind"), "%q does not happen to endpoints", e.What)
 	checkRange(k, at("part"), e.Part, 0, 1)
 	k.That(len(e.Part) == 0 || e.Count == 0, at("count"), "either a part or a count")
@@ -511,10 +525,10 @@
 	k.That(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
 	k.That(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
 	k.That(!e.One || e.What == "surge", at("one"), "is for surge only")
-	k.That(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause", at("every"), "is for neighbour, pause and rolling only")
+	k.That(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" || e.What == "freeze", at("every"), "is for neighbour, pause, rolling and freeze only")
 	k.That(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
 	k.That(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
-	k.That(e.What != "stale" && e.What != "silent" || e.For != nil, at("for"), "is missing")
+	k.That(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil, at("for"), "is missing")
 }
 
 func sizeText(size string) string {
