--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -47,11 +47,12 @@
 }
 
 // Shipped returns the budgets that hold where the operators turn this on and say no more. A fifth of further attempts is what
-// a pool has without it. Two probes for each that was accepted are the two draws that a request waits for; what is measured
+// a pool has without it; a twentieth under overload, since twice as many may have been accepted in the last second as are first
+// ones in the next, as endpoints begin to fail, and a tenth of those is the bound. Two probes for each that was accepted are the two draws that a request waits for; what is measured
 // of them is a fifth to one at each first attempt under overload, since many requests share a draw. A hundred a second cost
 // an endpoint a hundredth of a core at 0.1 ms each, and one a second finds it again within a second once it recovers.
 func Shipped() Settings {
-	return Settings{Further: 0.2, FurtherSick: 0.1, Probes: 2, NodeProbes: 100, NodeLeast: 1}
+	return Settings{Further: 0.2, FurtherSick: 0.05, Probes: 2, NodeProbes: 100, NodeLeast: 1}
 }
 
 // SettingError names a setting that makes no sense.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -37,7 +37,7 @@
 	plan := s.Draw(seed)
 	result, err := live.Run(ctx, live.Options{Plan: plan, Settings: v.Settings, Judge: judge(own), Daemon: program, Log: &log})
 	if err != nil {
-		return nil, fmt.Errorf("%s, seed %d: %w", s.Name, seed, err)
+		return nil, fmt.Errorf("%s, seed %d: %w; logged last:\n%s", s.Name, seed, err, log.last(errorLines))
 	}
 	f := &Faulted{Result: result}
 	for _, text := range s.Expect {
@@ -98,6 +98,17 @@
 	return len(p), nil
 }
 
+// errorLines is how many lines of the log go with an error.
+const errorLines = 12
+
+// last returns the last lines that were kept.
+func (l *lines) last(n int) string {
+	l.locked.Lock()
+	defer l.locked.Unlock()
+	all := strings.Split(strings.TrimSpace(l.kept.String()), "\n")
+	return strings.Join(all[max(0, len(all)-n):], "\n")
+}
+
 // Summary is a line of the figures that matter where much goes wrong.
 func (f *Faulted) Summary() string {
 	var parts []string
--- a/internal/lab/live/gate.go
+++ b/internal/lab/live/gate.go
@@ -17,6 +17,7 @@
 	mu      sync.Mutex
 	change  *sync.Cond
 	silent  bool
+	parked  bool // Accept waits for the silence to end
 	closed  bool
 	fill    net.Conn            // what the queue is full of
 	fillers map[string]struct{} // by the address that it is from; not yet accepted
@@ -44,9 +45,12 @@
 		c, err := g.TCPListener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			g.mu.Lock()
+			g.parked = true
+			g.change.Broadcast()
 			for g.silent && !g.closed {
 				g.change.Wait()
 			}
+			g.parked = false
 			g.mu.Unlock()
 			continue
 		}
@@ -83,6 +87,13 @@
 		return err
 	}
 	g.SetDeadline(time.Unix(1, 0))
+	// An Accept that is under way may still take one out of the queue: what fills it must not be that one.
+	for !g.parked && !g.closed {
+		g.change.Wait()
+	}
+	if g.closed {
+		return nil
+	}
 	if err := g.listen(0); err != nil {
 		return err
 	}
