Rank classes by plain means from the first answers; wider limits for what ranks first

Change: a plain mean that begins with a guess that counts as four answers; limits of 0.8 to 0.15 by rank, and at least 0.35 for the part that the goal has served of every class.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -940,7 +940,7 @@
 	if t := b.bounds; t != nil {
 		lots := source(r.ID) // of the request itself: it is judged alike before its turn and after
 		if lots.float() < t.Floor {
-			return t.First
+			return max(t.First, t.Waits[r.Class])
 		}
 		return t.Waits[r.Class]
 	}
--- a/internal/decide/overload/budget.go
+++ b/internal/decide/overload/budget.go
@@ -121,21 +121,19 @@
 
 const meterSpan = 2 * second
 
-// mean is a moving average that starts with its first sample.
+// mean is a moving average that begins as a plain mean: taken whole, one odd first sample would steer for long.
 type mean struct {
-	v     float64
-	known bool
+	v float64
+	n float64 // samples
 }
 
 func (m *mean) add(x, weight float64) {
-	if !m.known {
-		m.v, m.known = x, true
-	}
-	m.v += (x - m.v) * weight
+	m.n++
+	m.v += (x - m.v) * max(weight, 1/m.n)
 }
 
 func (m *mean) or(other float64) float64 {
-	if m.known {
+	if m.n > 0 {
 		return m.v
 	}
 	return other
--- a/internal/decide/overload/order.go
+++ b/internal/decide/overload/order.go
@@ -70,13 +70,12 @@
 	return o.admit, o.excess
 }
 
-// sort puts the buckets into their order: the most worth for its work first. Time at an endpoint stands for work; a class
-// that has not been answered yet counts as one whose answers take a fifth of the aim.
+// sort puts the buckets into their order: the most worth for its work first. Time at an endpoint stands for work.
 func (o *order) sort(took []mean) {
 	o.buckets = o.buckets[:0]
 	n := float64(len(o.s.Classes))
 	for i, c := range o.s.Classes {
-		worth := c.Worth / max(1, took[i].or(float64(c.Aim)/5))
+		worth := c.Worth / max(1, took[i].v)
 		if !o.splits() {
 			o.buckets = append(o.buckets, bucket{i, false, worth, 1 / n})
 			continue
@@ -109,8 +108,8 @@
 // Limits on what a request may wait at an endpoint, as parts of what its aim leaves beyond its time there alone. Those of
 // the classes are spread evenly by rank, so that where too much went on for a moment what is worth least is turned away.
 const (
-	waitMost  = 0.6  // of the class that ranks first: latencies vary
-	waitFirst = 0.4  // of the part of every class that the goal has served whatever its worth
+	waitMost  = 0.8  // of the class that ranks first: what is shed before it keeps the queues below that
+	waitFirst = 0.35 // at least, of the part of every class that the goal has served whatever its worth
 	waitLeast = 0.15 // of the class that ranks last: in calm hardly any waits for so long
 )
 
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -112,6 +112,9 @@
 	}
 	c := &Control{s: s, asked: make([]meter, len(s.Classes)), tenants: make([]meter, len(s.Tenants)), took: make([]mean, len(s.Classes)),
 		order: newOrder(s), further: lottery{seed: s.Seed}}
+	for i := range c.took {
+		c.took[i] = mean{float64(s.Classes[i].Aim) / 5, guess}
+	}
 	c.level.y = 1                     // what an instance has not seen it does not turn away; the balancer's limits hold meanwhile
 	c.probes.tokens = draw(s.Seed, 0) // a part of one: who is started often earns nothing by that
 	return c, nil
@@ -148,7 +151,7 @@
 
 // work is what a request of a class costs, as time at an endpoint.
 func (c *Control) work(class int) float64 {
-	return c.took[class].or(float64(c.s.Classes[class].Aim) / 5)
+	return c.took[class].v
 }
 
 // Refused tells that the balancer turned a request away unsent that the bounds had let in.
@@ -225,6 +228,7 @@
 
 const (
 	tookWeight   = 0.02
+	guess        = 4 // answers that the first guess of how long they take, a fifth of the aim, counts as
 	servesWeight = 0.1
 	servesMost   = 4 // times the mean that one report counts as, at most: one that lies must not hide what all serve
 )
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -166,7 +166,7 @@
 	for _, worst := range []float64{0, 0.2, 0.6} {
 		c := control(t, site(worst, 8))
 		for i, ms := range []float64{35, 29, 27, 54} {
-			c.took[i].add(ms*1000, 1)
+			c.took[i].v = ms * 1000
 		}
 		order := []int{2, 3, 0, 1} // chair-status, book, open-slots, patient-card
 		for level := 0.05; level <= 1; level += 0.05 {
