Count what could have been served, and work that was served out of order

Need: whether the fleet sheds the same, and how near it is to what the endpoints could do, had no figure.

Change: of_could, worth served of what the endpoints' work could have served at best, second by second; out_of_order, work that was not served while such of less worth was. What begins at an instance that is stopped or killed is left out.

--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -210,6 +210,7 @@
 		*c = counts{}
 		r.meter = measure.New(o.Judge, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
 		r.meter.Cause(o.Plan.Trouble())
+		r.meter.World(measure.World{Capacity: o.Plan.CapacityAt, Reached: o.Plan.Reached})
 	})
 	var worked float64
 	for _, e := range r.endpoints {
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -78,6 +78,7 @@
 	refused int64 // stories that ended unserved with a refusal as their last word
 	tries   struct{ refused, failed, lost int64 }
 	arrived arrivals
+	weigher *weigher
 	took    []*hdrhistogram.Histogram // of each class
 	digest  *xxhash.Digest
 
@@ -169,6 +170,7 @@
 	}
 	m.stories++
 	m.counts[s.Outcome]++
+	m.weigher.done(s, worth, inAim)
 	m.worth.add(worth, earned)
 	m.classes[s.Class].add(worth, earned)
 	if within && s.Tenant >= 0 && s.Tenant < len(m.tenants) {
@@ -320,6 +322,7 @@
 	f["waste"] = max(0, c.Worked-c.Useful) / math.Max(1, c.Offered)
 	f["late_fail"] = m.lateOut / math.Max(1e-9, m.worth.asked)
 	m.arrived.figures(f, m.seconds)
+	m.weigher.figures(f, m.worth.earned)
 	f["breaks"] = float64(c.Falls + c.Drained + c.Twice + c.LateAnswer)
 	g, p := &m.judge.Goal, &m.judge.Prices
 	weights := g.Whole + g.WorstWindow + g.WorstClass + g.WorstTenant
@@ -467,6 +470,8 @@
 	{"probes_first", "probes for each first attempt", "", -1, 0.02, false},
 	{"dials_peak", "new connections a second at one endpoint, in the worst second of any", "", -1, 1, false},
 	{"back", "service from 3 s after the last of what goes wrong has ended, against that before the first began; 1 at the most", "", 1, 0.01, false},
+	{"of_could", "worth served within the aim, of what the endpoints' work could have served at best", "", 1, 0.01, false},
+	{"out_of_order", "work not served while such of less worth for its work was, in the same second, of all work", "", -1, 0.01, false},
 	{"breaks", "rules broken", "", -1, 0, true},
 }
 
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -152,6 +152,7 @@
 	}
 	r.schedule()
 	r.meter.Cause(r.plan.Trouble())
+	r.meter.World(measure.World{Capacity: r.plan.CapacityAt, Reached: r.plan.Reached})
 	if err := r.play(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/model/scenario/ideal.go
+++ b/internal/model/scenario/ideal.go
@@ -15,7 +15,7 @@
 	times := p.surges()
 	for at := Micros(0); at < p.Length.Micros(); at += idealStep {
 		demand := p.Rate * p.Times(at) * times(at) * float64(idealStep) / float64(second)
-		capacity := p.capacity(at) * float64(idealStep) / work
+		capacity := p.CapacityAt(at) * float64(idealStep) / work
 		asked += demand
 		served := min(demand+backlog, capacity)
 		could += served
@@ -48,8 +48,8 @@
 	}
 }
 
-// capacity is the useful work that all endpoints can do in a microsecond at an instant.
-func (p *Plan) capacity(at Micros) float64 {
+// CapacityAt is the useful work that all endpoints can do in a microsecond at an instant.
+func (p *Plan) CapacityAt(at Micros) float64 {
 	speed := make([]float64, len(p.Nodes))
 	for i := range p.Nodes {
 		n := &p.Nodes[i]
@@ -132,3 +132,25 @@
 	}
 	return 1
 }
+
+// Reached says whether an instance takes requests at an instant: it is neither stopped nor killed.
+func (p *Plan) Reached(instance int, at Micros) bool {
+	for i := range p.Happenings {
+		h := &p.Happenings[i]
+		switch h.What {
+		case "freeze":
+			if _, frozen := h.Frozen(at); frozen && has(h.Instances, instance) {
+				return false
+			}
+		case "restart", "power":
+			until := h.Until
+			if until == math.MaxInt64 {
+				until = h.At + second
+			}
+			if at >= h.At && at < until && has(h.Instances, instance) {
+				return false
+			}
+		}
+	}
+	return true
+}
