Play every other instance by another build beside this one; test what the engine bounds

Need: instances of this version stand beside the one before during an update, and the rig knew one program only; that nothing is added where nothing is accepted was tested for the decisions, not for engine and balancer together.

--- a/cmd/dunlinlab/faults.go
+++ b/cmd/dunlinlab/faults.go
@@ -18,6 +18,7 @@
 	Settings  string   `help:"The variant; the scenario's own settings are added." default:"shipped"`
 	Without   bool     `help:"Play each beside it without the scenario's own settings, unjudged."`
 	Programs  []string `help:"Programs that are played; by default dunlinsaild and dunlinsail beside this program."`
+	Beside    string   `help:"Another build of the program, which every other instance is a process of." placeholder:"PROGRAM"`
 	Seeds     int      `help:"So many seeds, one after another." default:"1"`
 	First     uint64   `help:"The first seed." default:"1"`
 	Keep      string   `help:"A folder for the evidence of failed runs." default:"faults" placeholder:"DIR"`
@@ -77,7 +78,7 @@
 		if i > 0 {
 			keep = "" // it is not held to anything
 		}
-		f, err := lab.Faults(ctx, s, v, program, seed, keep)
+		f, err := lab.Faults(ctx, s, v, program, c.Beside, seed, keep)
 		if err != nil {
 			return 0, err
 		}
--- /dev/null
+++ b/internal/engine/overload_test.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"testing"
+
+	"dunlinsail/internal/decide/overload"
+)
+
+// Where every endpoint fails from the first request on, an instance sends each request once, probes no more than its part of
+// the least, and answers all of them, although its balancer holds requests for probes that are not to be had. Once they serve
+// again so does it, and further attempts come back with what is accepted.
+func TestNothingAcceptedNothingAdded(t *testing.T) {
+	h, c, list := instance(t, nil)
+	o := overload.Shipped()
+	o.Instances = 60
+	var err error
+	if h.p, err = h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Known: Told{Generation: 1, Members: list}, Watch: func(bool) {}}); err != nil {
+		t.Fatal(err)
+	}
+	h.p.Begin(1_000 * second)
+	for _, m := range list {
+		h.fails[m.Name] = true
+	}
+	now := h.run(c, 1_000*second, 300, second/50)
+	sent := 0
+	for _, n := range h.to {
+		sent += n
+	}
+	// A probe a second at each of sixty endpoints, for sixty instances; what it begins with and saves up beside that.
+	if sent > 300 || h.probes > 14 {
+		t.Errorf("%d attempts for 300 requests, %d probes in 7 s", sent, h.probes)
+	}
+	if n := h.answered[Refused] + h.answered[Failed] + h.answered[FailedLate]; n != 300 || h.x.Calls() != 0 {
+		t.Errorf("%d of 300 are answered, %d are open: %v", n, h.x.Calls(), h.answered)
+	}
+	if b, on := h.p.Overload(); !on || b.Further || b.Reason == overload.None {
+		t.Errorf("bounds %+v", b)
+	}
+	h.fails, h.answered = map[string]bool{}, map[Verdict]int{}
+	h.run(c, now, 1000, second/50)
+	if h.answered[Served] < 900 {
+		t.Errorf("once endpoints serve again: %v", h.answered)
+	}
+	if b, _ := h.p.Overload(); b.Reason != overload.None || b.Level < 0.9 {
+		t.Errorf("bounds %+v", b)
+	}
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -27,15 +27,16 @@
 
 // Faults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by that one
 // run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder of its own
-// below keep: the plan's scenario, the settings, what the processes logged, and all that it came to.
-func Faults(ctx context.Context, s *scenario.Scenario, v *Variant, program string, seed uint64, keep string) (*Faulted, error) {
+// below keep: the plan's scenario, the settings, what the processes logged, and all that it came to. Every other instance is a
+// process of beside, where that is given.
+func Faults(ctx context.Context, s *scenario.Scenario, v *Variant, program, beside string, seed uint64, keep string) (*Faulted, error) {
 	own, err := config.Parse(v.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	var log lines
 	plan := s.Draw(seed)
-	result, err := live.Run(ctx, live.Options{Plan: plan, Settings: v.Settings, Judge: judge(own), Daemon: program, Log: &log})
+	result, err := live.Run(ctx, live.Options{Plan: plan, Settings: v.Settings, Judge: judge(own), Daemon: program, Beside: beside, Log: &log})
 	if err != nil {
 		return nil, fmt.Errorf("%s, seed %d: %w; logged last:\n%s", s.Name, seed, err, log.last(errorLines))
 	}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -47,6 +47,7 @@
 	Settings []byte // a daemon's file; its listeners, clients, discovery and fleet are filled in
 	Judge    measure.Judge
 	Daemon   string    // the program: dunlinsaild, or dunlinsail, the platform's sidecar
+	Beside   string    // another program that every other instance is, without what it may not know; "" is none
 	Log      io.Writer // of the daemons; nil is nowhere
 }
 
@@ -333,18 +334,22 @@
 	return e
 }
 
-func (r *run) newInstance(n int) (*instance, error) {
-	in := &instance{n: n}
-	var entries []discovery.Instance
+// entries are those of all endpoints for an instance, as the run begins.
+func (r *run) entries(instance int) (all []discovery.Instance) {
 	for i := range r.plan.Nodes {
 		started := Micros(0)
 		if r.plan.Nodes[i].Cold {
 			started = 1
 		}
-		entries = append(entries, r.entry(i, n, "up", started))
+		all = append(all, r.entry(i, instance, "up", started))
 	}
+	return all
+}
+
+func (r *run) newInstance(n int) (*instance, error) {
+	in := &instance{n: n}
 	var err error
-	if in.roster, err = roster.Start(entries...); err != nil {
+	if in.roster, err = roster.Start(r.entries(n)...); err != nil {
 		return nil, err
 	}
 	listeners := r.plan.Clients.Processes
@@ -374,12 +379,28 @@
 	return in, r.launch(in)
 }
 
+// program is what an instance is a process of.
+func (r *run) program(in *instance) (path string, other bool) {
+	if r.o.Beside != "" && in.n%2 == 1 {
+		return r.o.Beside, true
+	}
+	return r.o.Daemon, false
+}
+
+// news are the tables of a daemon's file that another version may not know.
+var news = []string{"overload"}
+
 // file is an instance's file: the settings', with what differs between instances and what is of this run.
 func (r *run) file(in *instance) ([]byte, error) {
 	var doc map[string]any
 	if err := toml.Unmarshal(r.o.Settings, &doc); err != nil {
 		return nil, err
 	}
+	if _, other := r.program(in); other {
+		for _, table := range news {
+			delete(doc, table)
+		}
+	}
 	doc["name"] = fmt.Sprint("instance-", in.n)
 	doc["discovery"] = map[string]any{"address": in.roster.Addr, "mode": r.own.Discovery.Mode}
 	delete(doc, "takeover")
@@ -417,14 +438,15 @@
 func (r *run) launch(in *instance) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	program, other := r.program(in)
 	if isSidecar(r.o.Daemon) {
-		in.cmd = exec.Command(r.o.Daemon)
+		in.cmd = exec.Command(program)
 		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "ROUTER_CONFIG="+in.config)
-		if r.own.Overload.On {
+		if r.own.Overload.On && !other {
 			in.cmd.Env = append(in.cmd.Env, "ROUTER_OVERLOAD=1")
 		}
 	} else {
-		in.cmd = exec.Command(r.o.Daemon, "--config", in.config)
+		in.cmd = exec.Command(program, "--config", in.config)
 		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	}
 	in.cmd.Stderr = r.o.Log
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/discovery"
 )
 
 // This file starts the platform's sidecar in the daemon's place: the same site, told as the platform tells it.
@@ -59,7 +60,8 @@
 			"worst-tenant": s.Goal.WorstTenant},
 		"reporting": map[string]any{"how": "probe", "fields": r.fieldNames()},
 	}
-	return json.Marshal(map[string]any{"name": fmt.Sprint("instance-", in.n), "listen": in.addrs[0], "discovery": in.roster.Addr,
+	known := discovery.List{Generation: 1, Reset: true, Instances: r.entries(in.n)} // as the platform has it
+	return json.Marshal(map[string]any{"known": known, "name": fmt.Sprint("instance-", in.n), "listen": in.addrs[0], "discovery": in.roster.Addr,
 		"seed": fmt.Sprintf("%x", r.plan.Seed<<16|uint64(in.n)), "limits": map[string]any{"memory_mb": 96, "sockets": 1024}, "settings": settings})
 }
 
