--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -290,7 +290,9 @@
 	if p.Instances[f.instance].Zone == f.e.plan.Zone {
 		mean = p.Network.Within.Duration
 	}
-	sleep(time.Now().Add(mean + time.Duration(p.Network.Jitter*rand.ExpFloat64()*float64(mean))))
+	mean += time.Duration(p.Network.Jitter * rand.ExpFloat64() * float64(mean))
+	mean += time.Duration(p.Lag(f.e.run.now(), f.instance, f.e.n)) * time.Microsecond
+	sleep(time.Now().Add(mean))
 }
 
 // ServeHTTP takes a request or a probe.
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -425,7 +425,8 @@
 // way is how long a message between the instance and the endpoint takes.
 func (s *sending) way(what uint64) Micros {
 	who, which := s.who()
-	return s.in.run.network.between(s.in.zone, s.to.zone(), who, which, what)
+	r := s.in.run
+	return r.network.between(s.in.zone, s.to.zone(), who, which, what) + r.plan.Lag(r.now, s.in.n, s.to.n)
 }
 
 // start finds a connection.
@@ -710,7 +711,8 @@
 }
 
 func (p *probe) way(what uint64) Micros {
-	return p.in.run.network.between(p.in.zone, p.to.zone(), uint64(p.in.n)|1<<63, p.n, what)
+	r := p.in.run
+	return r.network.between(p.in.zone, p.to.zone(), uint64(p.in.n)|1<<63, p.n, what) + r.plan.Lag(r.now, p.in.n, p.to.n)
 }
 
 func (p *probe) reach() {
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -84,6 +84,16 @@
 		has(h.Instances, instance) && has(h.Nodes, node)
 }
 
+// Lag is by how much longer each message between an instance and an endpoint takes at an instant.
+func (p *Plan) Lag(now Micros, instance, node int) (more Micros) {
+	for i := range p.Happenings {
+		if h := &p.Happenings[i]; h.What == "lag" && now >= h.At && now < h.Until && has(h.Instances, instance) && has(h.Nodes, node) {
+			more += h.Delay
+		}
+	}
+	return more
+}
+
 // Source gives the stories of an instance in the order in which they begin, in place of those that a plan draws.
 type Source interface {
 	Stories(instance int) func() (caller.Story, bool)
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -171,7 +171,7 @@
 	Tenant string          `toml:"tenant,omitempty"` // surge: of this tenant only
 	One    bool            `toml:"one,omitempty"`    // surge: of one client process at each instance only
 	Every  strict.Duration `toml:"every,omitempty"`  // neighbour: on and off; rolling: one after another
-	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, stale
+	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, stale, lag
 	To     string          `toml:"to,omitempty"`     // cut: the other zone; none is all
 
 	// Which instances, of what happens to instances or on their ways: a part of those of the zone, all without it.
@@ -241,6 +241,7 @@
 	"stale":        {false, ""},
 	"silent":       {false, ""}, // discovery says nothing
 	"sever":        {true, ""},  // nothing comes through between instances and endpoints
+	"lag":          {true, ""},  // each message between instances and endpoints takes longer
 	"restart":      {false, ""}, // instances are killed and begin anew, with what they had open lost
 	"freeze":       {false, ""}, // instances are stopped, and go on at its end with what they held
 	"deaf":         {false, ""}, // instances hear nothing of discovery, and all of it at its end
@@ -492,14 +493,14 @@
 		return
 	}
 	k.That(e.At != nil, at("at"), "is missing")
-	k.That((e.Delay != nil) == (e.What == "late-reports" || e.What == "stale"), at("delay"), "is for late-reports and stale, and needed there")
+	k.That((e.Delay != nil) == (e.What == "late-reports" || e.What == "stale" || e.What == "lag"), at("delay"), "is for late-reports, stale and lag, and needed there")
 	k.That(e.At == nil || e.At.From < s.Length.Duration, at("at"), "it is after the end, %v", s.Length)
 	k.That(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at("zone"), "%q is none of fleet.zones", e.Zone)
 	k.That(e.To == "" || slices.Contains(s.Fleet.Zones, e.To), at("to"), "%q is none of fleet.zones", e.To)
 	k.That(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
 	k.That(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
 	k.That(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
-	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "surge"
+	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge"
 	k.That(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
 	checkRange(k, at("instances"), e.Instances, 0, 1)
 	strict.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
