Shed clients' marked repeats first under overload

Cause: under twice the load with clients that try four times a quarter of the worth was served late: who asks again has lost a part of its aim, and what is served past it was work for nothing, taken from first tries that were in time.

Change: what says that it is a repeat (X-Second-Try) goes on while next to nothing is shed, and not at all once a fifth is. Clients that do not say so are treated as before.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -277,6 +277,7 @@
 	Admit  []float64 // by class, the part of the requests that goes on
 	Excess []float64 // the same of what tenants ask beyond their share
 	Inside []float64 // by tenant, the part of its requests within its share
+	Again  float64   // of what goes on by that, the part of those that say that they repeat an earlier one
 	Waits  []float64 // by class, the part of what its aim leaves that a request may wait
 	First  float64   // the same of what ranks first, whatever its class,
 	Floor  float64   // which is this part of the requests
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -233,6 +233,9 @@
 	if t := int(in.Tenant); t < len(b.bounds.Inside) && lots.float() >= b.bounds.Inside[t] {
 		part = b.bounds.Excess[in.Class]
 	}
+	if in.Retry {
+		part *= b.bounds.Again
+	}
 	if rank < part {
 		return 0, false
 	}
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -12,7 +12,7 @@
 		all[i] = 1
 	}
 	to := &Bounds{Admit: all, Excess: make([]float64, len(all)), Waits: []float64{0.6, 0.6, 0.6, 0.6, 0.6}[:len(all)], First: 0.6,
-		Further: true, Probes: 1000, PassEvery: 100 * second}
+		Again: 1, Further: true, Probes: 1000, PassEvery: 100 * second}
 	b.Bound(to)
 	return b, r, to
 }
@@ -51,6 +51,12 @@
 	if went < 900 || went > 1100 {
 		t.Errorf("%d of 2000 go on where half lies beyond a tenant's share", went)
 	}
+	to.Inside, to.Again = nil, 0
+	repeat := request0(1, 0, 0)
+	repeat.Retry = true
+	if _, away := b.TurnsAway(repeat); !away {
+		t.Error("a repeat goes on where none does")
+	}
 	b.Bound(nil)
 	if _, away := b.TurnsAway(request0(1, 0, 0)); away {
 		t.Error("turned away without bounds")
--- a/internal/decide/overload/order.go
+++ b/internal/decide/overload/order.go
@@ -113,6 +113,12 @@
 	waitLeast = 0.15 // of the class that ranks last: in calm hardly any waits for so long
 )
 
+// again is the part of the repeats that go on at a level: none once a fifth is shed. A client that asks again has lost a part of
+// its aim by then, and each that is served late is work for nothing; what is shed of first tries beside it was in time.
+func again(level float64) float64 { return max(0, min(1, (level-againFrom)/(1-againFrom))) }
+
+const againFrom = 0.8
+
 // floor returns the part of every bucket that is served whatever its worth, and what of the level is left beyond that. The
 // goal's gain is linear between the corners where the rest fills whole buckets, so that one of those is the best.
 func (o *order) floor(level float64) (floor, rest float64) {
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -254,6 +254,7 @@
 	Admit  []float64 // by class, the part of the requests that goes on
 	Excess []float64 // the same of what tenants ask beyond their share
 	Inside []float64 // by tenant, the part of its requests that lies within its share
+	Again  float64   // of what goes on by that, the part of the requests that say that they repeat an earlier one
 	Waits  []float64 // by class, the part of what its aim leaves that a request may wait at an endpoint
 	First  float64   // the same of what ranks first, whatever its class,
 	Floor  float64   // which is this part of the requests
@@ -286,6 +287,7 @@
 	}
 	b := Bounds{Level: c.level.y, Load: c.level.x, Let: let, Probes: c.rates(now).rate()}
 	b.Admit, b.Excess = c.order.parts(b.Level, c.took)
+	b.Again = again(b.Level)
 	b.Waits, b.First, b.Floor = c.order.waits, waitFirst, c.order.least
 	b.Inside = c.order.inside(now, c.tenants)
 	b.PassEvery = max(second, Micros(float64(len(c.s.Classes)*c.s.Instances)/(passes*float64(max(1, c.endpoints)))*float64(second)))
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -49,7 +49,7 @@
 func (p *Pool) rebound(now Micros) {
 	l := p.loaded
 	b := l.control.Bounds(now)
-	l.bounds = balancer.Bounds{Admit: b.Admit, Excess: b.Excess, Waits: b.Waits, First: b.First, Floor: b.Floor, Inside: b.Inside, Further: b.Further, Probes: b.Probes,
+	l.bounds = balancer.Bounds{Admit: b.Admit, Excess: b.Excess, Waits: b.Waits, First: b.First, Floor: b.Floor, Inside: b.Inside, Again: b.Again, Further: b.Further, Probes: b.Probes,
 		PassEvery: b.PassEvery}
 	l.now = b
 	if b.Reason != l.told && now-l.toldAt >= second {
