Count probes and connections by second whatever order they come in; plant what figures must find

Cause: a checker's test showed that counts of one endpoint and second began anew when an arrival of the second before came late, as those of concurrent connections do about a second's boundary: peaks were told too low by what came before.

Change: counts are kept by second. Tests of all figures of order and recovery with planted errors.

--- a/internal/model/measure/arrivals.go
+++ b/internal/model/measure/arrivals.go
@@ -20,11 +20,9 @@
 
 // arrivals counts what comes at endpoints, second by second.
 type arrivals struct {
-	seconds     []Second
-	at          Micros // the second that probes and dials are of
-	probes      []int  // in it, by endpoint
-	dials       []int  // the same
-	from, until Micros // when what goes wrong begins, and has ended
+	seconds       []Second
+	probes, dials [][]uint32 // by second and endpoint
+	from, until   Micros     // when what goes wrong begins, and has ended
 }
 
 // Arrived tells what came at an endpoint at an instant.
@@ -34,14 +32,6 @@
 	if n < 0 || n >= Micros(len(a.seconds)) {
 		return
 	}
-	if n != a.at {
-		a.at = n
-		clear(a.probes)
-		clear(a.dials)
-	}
-	for len(a.probes) <= node {
-		a.probes, a.dials = append(a.probes, 0), append(a.dials, 0)
-	}
 	s := &a.seconds[n]
 	switch what {
 	case First:
@@ -50,13 +40,20 @@
 		s.Further++
 	case Probe:
 		s.Probes++
-		a.probes[node]++
-		s.ProbesMost = max(s.ProbesMost, a.probes[node])
+		s.ProbesMost = max(s.ProbesMost, one(a.probes, n, node))
 	case Dial:
 		s.Dials++
-		a.dials[node]++
-		s.DialsMost = max(s.DialsMost, a.dials[node])
+		s.DialsMost = max(s.DialsMost, one(a.dials, n, node))
+	}
+}
+
+// one counts one more of a second at an endpoint, and returns how many there are. They need not come in order.
+func one(all [][]uint32, n Micros, node int) int {
+	for len(all[n]) <= node {
+		all[n] = append(all[n], 0)
 	}
+	all[n][node]++
+	return int(all[n][node])
 }
 
 // Cause tells when what goes wrong begins, and when all of it has ended.
--- /dev/null
+++ b/internal/model/measure/faults_test.go
@@ -0,0 +1,78 @@
+package measure
+
+import (
+	"math"
+	"testing"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/model/caller"
+)
+
+// judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve says, by
+// second and class, whether its stories are served.
+func judged(serve func(second, class int) bool, reached func(instance int, at Micros) bool, arrive func(m *Meter)) map[string]float64 {
+	m := New(Judge{Classes: []balancer.Class{{Name: "a", Aim: 200_000, Worth: 10}, {Name: "b", Aim: 200_000, Worth: 1}}}, 10*second, 1)
+	m.World(World{Capacity: func(Micros) float64 { return 0.1 }, Reached: reached}) // a tenth of a second's work in a second
+	m.Cause(3*second, 4*second)
+	id := uint64(0)
+	for s := range 10 {
+		for class := range 2 {
+			for i := range 10 { // of 10 ms each: both classes ask for all that can be done
+				id++
+				x := caller.Story{ID: id, Class: class, Tenant: -1, Began: Micros(s)*second + Micros(i)*50_000, Work: 10_000, Outcome: caller.GivenUp}
+				x.Ended = x.Began + 50_000
+				if serve(s, class) {
+					x.Outcome = caller.Served
+				}
+				worth, within := m.Worth(&x)
+				m.Done(&x, 0, worth, within)
+			}
+		}
+	}
+	if arrive != nil {
+		arrive(m)
+	}
+	return m.Result().Figures
+}
+
+func always(int, Micros) bool { return true }
+
+// Each of what must not be is found where it is planted, and not where it is not.
+func TestFiguresFindWhatIsPlanted(t *testing.T) {
+	near := func(name string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 0.01 {
+			t.Errorf("%s is %.3f, want %.3f", name, got, want)
+		}
+	}
+	best := judged(func(_, class int) bool { return class == 0 }, always, nil)
+	near("of_could", best["of_could"], 1)
+	near("out_of_order", best["out_of_order"], 0)
+	near("back", best["back"], 1)
+	wrong := judged(func(s, class int) bool { return (class == 0) != (s == 5) }, always, nil) // one second the wrong way round
+	near("of_could", wrong["of_could"], 0.91)
+	near("out_of_order", wrong["out_of_order"], 0.05)
+	worse := judged(func(s, class int) bool { return class == 0 && s < 8 }, always, nil) // from 3 s after the cause's end it is gone
+	near("back", worse["back"], 0.333)
+	gone := judged(func(s, class int) bool { return class == 0 && s != 5 },
+		func(_ int, at Micros) bool { return at/second != 5 }, nil) // what nobody could take is held against nobody
+	near("of_could", gone["of_could"], 1)
+
+	arrived := judged(func(int, int) bool { return true }, always, func(m *Meter) {
+		for s := range Micros(10) {
+			for i := range 200 {
+				m.Arrived(s*second, i%4, First)
+			}
+		}
+		for i := range 30 {
+			m.Arrived(6*second+Micros(i), 1, Further)
+			m.Arrived(7*second+Micros(i), 2, Probe)
+			m.Arrived(7*second+Micros(i), 3, Dial)
+		}
+		m.Arrived(99*second, 1, Further) // after the end it counts for nothing
+	})
+	near("further_peak", arrived["further_peak"], 0.15)
+	near("probes_peak", arrived["probes_peak"], 30)
+	near("probes_first", arrived["probes_first"], 0.015)
+	near("dials_peak", arrived["dials_peak"], 30)
+}
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -121,7 +121,7 @@
 		m.bins[i].zone = make([]worths, zones)
 	}
 	m.seconds = make([]worths, (length+second-1)/second)
-	m.arrived.seconds = make([]Second, len(m.seconds))
+	m.arrived = arrivals{seconds: make([]Second, len(m.seconds)), probes: make([][]uint32, len(m.seconds)), dials: make([][]uint32, len(m.seconds))}
 	m.classes, m.tenants = make([]part, len(j.Classes)), make([]part, len(j.Tenants))
 	m.buckets = make([]bucket, len(j.Tenants))
 	for i := range m.buckets {
