Test that a failed run of real processes keeps its evidence

Need: dunlinlab faults judges runs of real processes, and nothing showed that it finds one that fails.

Change: a test with claims that hold and one that cannot, and a program that ends at once.

Measured: the run whose claim fails leaves scenario, settings, result and log; the other leaves nothing.

--- /dev/null
+++ b/internal/lab/faults_test.go
@@ -0,0 +1,67 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/lab/library"
+	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/standin/peer"
+)
+
+// serve is a daemon's process.
+func serve(file string) {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer cancel()
+	c, err := config.Read(file)
+	if err == nil {
+		err = daemon.Run(ctx, daemon.Options{Config: c, Log: peer.Quiet})
+	}
+	if err != nil {
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// A run of real processes of which a claim does not hold fails, and leaves in a folder what is needed to look for the cause;
+// one that holds leaves nothing.
+func TestFaultsKeepEvidence(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := must[*scenario.Scenario](t)(Resize(must[*scenario.Scenario](t)(library.Load("calm")), []string{"length=3s"}, 3, 6))
+	s.Events = []scenario.Event{}
+	v := must[*Variant](t)(ParseVariant(Shipped))
+	keep := t.TempDir()
+	for _, c := range []struct {
+		claims []string
+		failed bool
+	}{{[]string{"whole >= 0.9", "breaks == 0"}, false}, {[]string{"whole >= 0.9", "probes_first <= 0.001"}, true}} {
+		s.Expect = c.claims
+		f, err := Faults(t.Context(), s, v, self, "", 1, keep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Failed != c.failed || (f.Kept != "") != c.failed {
+			t.Errorf("%v: failed %v, kept %q; %s", c.claims, f.Failed, f.Kept, f.Summary())
+		}
+		for _, name := range []string{"scenario.toml", "settings.toml", "result.json", "log"} {
+			if c.failed {
+				if text, err := os.ReadFile(filepath.Join(f.Kept, name)); err != nil || name != "log" && len(text) == 0 {
+					t.Errorf("%s: %v, %d bytes", name, err, len(text))
+				}
+			}
+		}
+	}
+	if _, err := Faults(t.Context(), s, v, "/bin/false", "", 1, keep); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+		t.Errorf("a program that ends at once: %v", err)
+	}
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -40,6 +40,9 @@
 		os.Stdout.WriteString(`service: fine`)
 		os.Exit(0)
 	}
+	if len(os.Args) == 3 && os.Args[1] == "--config" {
+		serve(os.Args[2])
+	}
 	goleak.VerifyTestMain(m)
 }
 
