Say nothing against a version that a process had no time for as it ended

Cause: TestVersionsAtTheWrongTime failed 5 times of 12 on a busy machine and 1 of 8 on an idle one: a version that came as the process was told to stop had a generation begin, whose end was told to the control service as a refusal of the version.

Change: a process that was told to stop refuses nothing at the service.

--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -332,7 +332,9 @@
 	default:
 		p.log.Info("configuration applied, on trial", "version", id, "for", p.control.Trial.Duration)
 	}
-	if s.Version.Source == versions.Service && p.client != nil {
+	// A process that was told to end says nothing against a version: what failed may be its own end.
+	ends := s.Action == versions.Nack && p.stop.Err() != nil
+	if s.Version.Source == versions.Service && p.client != nil && !ends {
 		if s.Action == versions.Nack {
 			p.client.Nack(s.Version.ID, s.Reason, p.service())
 		} else {
