--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -120,6 +120,17 @@
 	return c, nil
 }
 
+// Level returns the level that holds, 1 for all work.
+func (c *Control) Level() float64 { return c.level.y }
+
+// Begin has a control that takes over from another begin at its level: what it would let in until it had learned that
+// comes on top of what the other has let in. Budgets are not taken over: nothing is spent twice.
+func (c *Control) Begin(level float64) {
+	if level >= levelMin && level <= 1 {
+		c.level.y = level
+	}
+}
+
 // Endpoints tells how many endpoints the instance shares with the others.
 func (c *Control) Endpoints(n int) { c.endpoints = n }
 
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -45,3 +45,32 @@
 		t.Errorf("bounds %+v", b)
 	}
 }
+
+// An instance that takes over from another begins at its level, and with none of its budgets.
+func TestTakesOverTheLevel(t *testing.T) {
+	h, c, list := instance(t, nil)
+	o := overload.Shipped()
+	o.Instances = 60
+	pool := func() *Pool {
+		p, err := h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Known: Told{Generation: 1, Members: list}, Watch: func(bool) {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Begin(1_000 * second)
+		return p
+	}
+	h.p = pool()
+	now := h.run(c, 1_000*second, 10, second/50)
+	const had = 0.37
+	h.p.loaded.control.Begin(had)
+	s := h.x.Snapshot(now)
+	h.x.pools = nil
+	next := pool()
+	h.x.Restore(now, 0, s)
+	if level := next.loaded.control.Level(); level != had {
+		t.Errorf("the level was %v, and is %v after the takeover", had, level)
+	}
+	if b := next.loaded.control.Bounds(now); b.Further {
+		t.Error("a further attempt without anything accepted")
+	}
+}
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -39,6 +39,7 @@
 	Names   []string // of the endpoints in Learned, in its order
 	Learned *balancer.Learned
 
+	Level float64            // of the overload (package overload); 0 where that is not decided
 	Limit float64            // requests in flight; 0 where that is not learned
 	Alone map[string]float64 // time of a class's request with hardly any others, in microseconds
 }
@@ -105,6 +106,9 @@
 	for _, e := range s.Learned.Endpoints {
 		s.Names = append(s.Names, names[e.ID])
 	}
+	if p.loaded != nil {
+		s.Level = p.loaded.control.Level()
+	}
 	if p.limit != nil {
 		value, alone := p.limit.Learned()
 		s.Limit, s.Alone = value, map[string]float64{}
@@ -150,6 +154,9 @@
 	if s.Learned == nil || len(s.Names) != len(s.Learned.Endpoints) || len(s.Learned.Classes) != len(s.Classes) {
 		return []string{"all that was learned"}
 	}
+	if p.loaded != nil && s.Level > 0 {
+		p.loaded.control.Begin(s.Level)
+	}
 	settings := &p.engine.config.Site.Settings
 	l := *s.Learned
 	l.Classes, l.Endpoints, l.Tenants = nil, nil, nil
