Show the overload's level and what it sheds among the sidecar's figures

Need: operators saw the overload in the log only.

Change: overload_level_percent, overload_shed and overload_probes_kept_in in /metrics where it is on; nothing more where it is off.

--- a/internal/engine/byhand.go
+++ b/internal/engine/byhand.go
@@ -66,6 +66,12 @@
 type Figures struct {
 	Listed  int // endpoints in the lists of all pools
 	Avoided int // of these, those that get nothing now by hand or by choice
+
+	// Of the overload (package overload), where it is decided.
+	Bounded bool
+	Level   float64 // the lowest of all pools
+	Shed    uint64  // requests turned away by it so far
+	Kept    uint64  // probes kept in so far
 }
 
 // Figures returns them.
@@ -75,6 +81,14 @@
 		if p.narrowed != nil {
 			f.Listed += len(p.narrowed.whole) - len(p.byName)
 		}
+		if l := p.loaded; l != nil {
+			if !f.Bounded || l.now.Level < f.Level {
+				f.Level = l.now.Level
+			}
+			f.Bounded = true
+			f.Shed += l.shed
+			f.Kept += l.kept
+		}
 		for _, e := range p.byName {
 			if p.balancer.Avoids(now, e.Number) {
 				f.Avoided++
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -12,7 +12,9 @@
 	now      overload.Bounds // the same, as decided
 	told     overload.Reason // in the log
 	toldAt   Micros
-	inflight int // places of figures in a load report; -1 is that it has none
+	shed     uint64 // requests turned away by the level
+	kept     uint64 // probes kept in
+	inflight int    // places of figures in a load report; -1 is that it has none
 	served   int
 }
 
@@ -72,6 +74,7 @@
 	p.rebound(now)
 	after, yes := p.balancer.TurnsAway(c.In)
 	if yes {
+		l.shed++
 		p.turnedAway(now)
 		p.engine.finish(c, Answer{Verdict: Refused, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
 	}
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -36,6 +36,9 @@
 	if b, on := h.p.Overload(); !on || b.Further || b.Reason == overload.None {
 		t.Errorf("bounds %+v", b)
 	}
+	if f := h.x.Figures(now); !f.Bounded || f.Kept == 0 || f.Level > 1 {
+		t.Errorf("figures %+v", f)
+	}
 	h.fails, h.answered = map[string]bool{}, map[Verdict]int{}
 	h.run(c, now, 1000, second/50)
 	if h.answered[Served] < 900 {
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -210,7 +210,11 @@
 // mayProbe says whether a probe is within what nodes have for this instance. A balancer whose probe is not sent is told
 // so at once: a request may wait for its answer.
 func (p *Pool) mayProbe(now Micros, number uint32) bool {
-	ok := p.loaded == nil || p.loaded.control.Probe(now)
+	ok := true
+	if l := p.loaded; l != nil && !l.control.Probe(now) {
+		ok = false
+		l.kept++
+	}
 	if n := p.narrowed; ok && n != nil {
 		ok, _ = n.probes.Take(now, n.first)
 	}
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -124,6 +124,11 @@
 	line("open_requests", uint64(open))
 	line("registry_entries", uint64(list.Listed))
 	line("out_of_rotation", uint64(list.Avoided))
+	if list.Bounded {
+		line("overload_level_percent", uint64(100*list.Level+0.5))
+		line("overload_shed", list.Shed)
+		line("overload_probes_kept_in", list.Kept)
+	}
 	return b, nil
 }
 
