--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -113,8 +113,12 @@
 // Summary is a line of the figures that matter where much goes wrong.
 func (f *Faulted) Summary() string {
 	var parts []string
-	for _, name := range []string{"whole", "further_peak", "probes_first", "probes_peak", "back", "breaks"} {
+	for _, name := range []string{"whole", "of_could", "out_of_order", "further_peak", "probes_first", "probes_peak", "back", "breaks"} {
 		parts = append(parts, fmt.Sprintf("%s %.3g", name, f.Result.Figures[name]))
 	}
+	if c := &f.Result.Costs; f.Result.Figures["breaks"] > 0 {
+		parts = append(parts, fmt.Sprintf("(%d endpoints fell, %d sent to a drained one, %d took effect twice, %d not answered in time)",
+			c.Falls, c.Drained, c.Twice, c.LateAnswer))
+	}
 	return strings.Join(parts, "  ")
 }
