Hold a failure of the process's own end against no version, in what is kept either

Cause: reading the change again: the refusal that a stopping daemon kept from its control service was still written down, so that the next process would have refused the version unseen.

Change: what fails after the process was told to stop is not told to the machine; what it tried is spared as it leaves. The special case where answers are told is gone.

--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -297,6 +297,9 @@
 
 // finish tells the machine how what was to be applied has ended.
 func (p *process) finish(err error) {
+	if err != nil && p.stop.Err() != nil {
+		return // what failed may be the process's own end: it is held against nothing (leave)
+	}
 	reason := ""
 	if err != nil {
 		reason = err.Error()
@@ -332,9 +335,7 @@
 	default:
 		p.log.Info("configuration applied, on trial", "version", id, "for", p.control.Trial.Duration)
 	}
-	// A process that was told to end says nothing against a version: what failed may be its own end.
-	ends := s.Action == versions.Nack && p.stop.Err() != nil
-	if s.Version.Source == versions.Service && p.client != nil && !ends {
+	if s.Version.Source == versions.Service && p.client != nil {
 		if s.Action == versions.Nack {
 			p.client.Nack(s.Version.ID, s.Reason, p.service())
 		} else {
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -318,6 +318,9 @@
 	if said := s.About("", "5"); len(said) > 0 {
 		t.Errorf("while it ended: %q", said)
 	}
+	// The next process holds nothing against what that one had no time for.
+	start(t, w.config(t, append(w.managed(addr, "i-1"), "worth = 5.0", "worth = 3.0")...))
+	eventually(t, s, "5", "good")
 }
 
 // A process that is killed while it tries a version begins with the last good one; after two such the version is refused.
