--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -834,7 +834,7 @@
 			}
 		}
 		switch h.What {
-		case "slow", "errors", "mute", "lies", "late-reports":
+		case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
 			r.at(ctx, beside, h.At, each(r.conditions))
 			over(each(r.conditions))
 		case "neighbour":
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -43,7 +43,7 @@
 func (r *run) begins(i int) {
 	h := &r.plan.Happenings[i]
 	switch h.What {
-	case "slow", "errors", "mute", "lies", "late-reports":
+	case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
 		for _, n := range h.Nodes {
 			r.conditions(n)
 		}
@@ -125,7 +125,7 @@
 func (r *run) ends(i int) {
 	h := &r.plan.Happenings[i]
 	switch h.What {
-	case "slow", "errors", "mute", "lies", "late-reports", "neighbour":
+	case "slow", "errors", "mute", "full", "lies", "babble", "late-reports", "neighbour":
 		for _, n := range h.Nodes {
 			r.conditions(n)
 		}
--- a/internal/model/instances_test.go
+++ b/internal/model/instances_test.go
@@ -17,6 +17,7 @@
 		{"what = \"sever\"\nway = \"from\"\nat = \"1s\"\nfor = \"6s\"", 0.6, 0.4, 0.4},
 		{"what = \"sever\"\nat = \"1s\"\nfor = \"2s\"\ncount = 1", 1, 0.9, 0.9},
 		{"what = \"lag\"\ndelay = \"400ms\"\nat = \"1s\"\nfor = \"6s\"", 0.6, 0.3, 0.4},
+		{"what = \"full\"\nsize = [1.0]\nat = \"1s\"\nfor = \"6s\"", 0.6, 0.3, 0.6},
 		{"what = \"deaf\"\nat = \"1s\"\nfor = \"2s\"", 1, 0.99, 0.99},
 		{"what = \"restart\"\nat = \"1s\"\nfor = \"1s\"\ninstances = [0.5]", 0.99, 0.6, 0.6},
 	} {
--- a/internal/model/node/node.go
+++ b/internal/model/node/node.go
@@ -5,6 +5,7 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -54,7 +55,9 @@
 	Class  int     // of this class only, where Part is set
 	Part   bool
 	Mute   float64 // part of the requests that are never answered
+	Full   float64 // part of the requests that it turns away unseen, although it has room
 	Lies   bool    // its reports say that it holds nothing
+	Babble bool    // its reports say nothing, or what cannot be
 	Late   Micros  // its reports are older by this
 }
 
@@ -300,7 +303,7 @@
 		return Full
 	}
 	n.push(now, j)
-	if n.fell {
+	if n.fell || j.Luck < n.cond.Full {
 		return Full
 	}
 	if (!n.cond.Part || n.cond.Class == j.Class) && j.Luck >= n.c.Errors && j.Luck < n.c.Errors+n.cond.Errors {
@@ -475,6 +478,11 @@
 	switch {
 	case n.cond.Lies:
 		return Load{}
+	case n.cond.Babble && r.Float64() < 0.5:
+		nothing := math.NaN()
+		return Load{nothing, nothing, nothing, nothing, nothing, nothing}
+	case n.cond.Babble:
+		return Load{Inflight: 1e9, Queue: 1e9, Util: -3, LatencyMS: math.Inf(1), Served: 1 + 1e9*r.Float64(), Errors: 1e9}
 	case n.cond.Late > 0:
 		old := Load{}
 		for i := len(f.past) - 1; i >= 0; i-- {
--- a/internal/model/scenario/ideal.go
+++ b/internal/model/scenario/ideal.go
@@ -88,7 +88,7 @@
 					speed[j] *= p.Nodes[j].warmth(at - from - h.Every)
 				}
 			}
-		case "slow", "lies", "errors", "mute", "neighbour", "pause":
+		case "slow", "lies", "errors", "mute", "full", "neighbour", "pause":
 			if over {
 				continue
 			}
@@ -118,7 +118,7 @@
 	switch h.What {
 	case "slow", "lies":
 		return 1 / h.Sizes[k]
-	case "errors", "mute":
+	case "errors", "mute", "full":
 		if h.Class >= 0 {
 			return 1 // the others can be served there
 		}
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -209,12 +209,16 @@
 	case len(e.Part) > 0:
 		n = int(math.Round(lots.Range(r, e.Part.ends(1)) * float64(n)))
 	}
-	var mine []int
+	return some(r, from, n)
+}
+
+// some returns so many of them, drawn without order, in their order.
+func some(r *rand.Rand, from []int, n int) (drawn []int) {
 	for _, at := range r.Perm(len(from))[:n] {
-		mine = append(mine, from[at])
+		drawn = append(drawn, from[at])
 	}
-	slices.Sort(mine)
-	return mine
+	slices.Sort(drawn)
+	return drawn
 }
 
 // chooseInstances returns the instances that an event happens to. Of what happens on ways its zone is the endpoints'.
@@ -229,12 +233,7 @@
 	if len(e.Instances) > 0 {
 		n = int(math.Round(lots.Range(r, e.Instances.ends(1)) * float64(n)))
 	}
-	var mine []int
-	for _, at := range r.Perm(len(from))[:n] {
-		mine = append(mine, from[at])
-	}
-	slices.Sort(mine)
-	return mine
+	return some(r, from, n)
 }
 
 func (p *Plan) drawHappenings() {
@@ -293,6 +292,10 @@
 		}
 	case "mute":
 		c.Mute = min(1, c.Mute+size)
+	case "full":
+		c.Full = min(1, c.Full+size)
+	case "babble":
+		c.Babble = true
 	case "neighbour":
 		if h.Every <= 0 || (now-h.At)/h.Every%2 == 0 {
 			c.Stolen = max(c.Stolen, size)
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -228,6 +228,8 @@
 	"slow":         {true, "times as slow"},
 	"errors":       {true, "part of the requests that fail at once"},
 	"mute":         {true, "part of the requests that are never answered"},
+	"full":         {true, "part of the requests that are turned away unseen"},
+	"babble":       {true, ""}, // its reports say nothing, or what cannot be
 	"neighbour":    {true, "part of the machine that another program takes"},
 	"lies":         {true, "times as slow, while its reports say that it holds nothing"},
 	"late-reports": {true, ""},
@@ -513,7 +515,7 @@
 	switch e.What {
 	case "slow", "lies":
 		checkRange(k, at("size"), e.Size, 1, 1000)
-	case "errors", "mute":
+	case "errors", "mute", "full":
 		checkRange(k, at("size"), e.Size, 0, 1)
 	case "neighbour":
 		checkRange(k, at("size"), e.Size, 0, 0.99)
