Count one report for no more than twice the usual load of all; decide before counting as let

And a request that had come and was not decided on yet counted as turned away, so that quiet instances took themselves for overloaded at each.

Change: an answer adds at most twice the usual load and a whole endpoint's; the part that goes on is counted as each request is decided.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -471,6 +471,7 @@
 	coldDraws   = 2 // cold endpoints looked at for a request
 	paceLife    = 10 * second
 	paceWeight  = 0.03
+	oddMost     = 2.0 // times the usual load and a whole endpoint's is as much as one answer counts for
 	crowdMost   = 2.0 // sends of others held to go with one of our own since an answer, at most
 	settleTrips = 5.0 // round trips after which a send has surely arrived
 	zoneWeight  = 2.0 // aims of latency that a crossing's price counts as
@@ -576,7 +577,8 @@
 		if e.cold(now, b) {
 			usual = &b.usualCold
 		}
-		usual.add(e.others, 1/float64(min(poolMost, len(b.list))))
+		// One that reports nonsense, or far more than others, is avoided for that; it must not count for all.
+		usual.add(min(e.others, oddMost*(usual.v+cores)), 1/float64(min(poolMost, len(b.list))))
 	}
 	// An answer that counts fewer than we alone have there is late, unless some are
 	// still on their way. If that happens often, the pool misleads: averages serve then.
--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/overload.go
@@ -101,7 +101,7 @@
 	asked     []meter // by class: requests that are no repeats
 	tenants   []meter // by tenant, the same
 	took      []mean  // by class: time of an answer
-	came      meter   // work that was asked for, in time at an endpoint, repeats included
+	came      meter   // work that was decided on, in time at an endpoint, repeats included
 	went      meter   // of that, such as went on
 	served    meter   // first attempts accepted
 	ended     meter   // first attempts ended
@@ -143,7 +143,6 @@
 		return
 	}
 	c.roll(now)
-	c.came.add(now, c.work(class))
 	c.level.asked(now)
 	if repeat {
 		return
@@ -159,18 +158,26 @@
 	if !first {
 		c.further.sent.add(now)
 	} else if class >= 0 && class < len(c.took) {
+		c.came.add(now, c.work(class))
 		c.went.add(now, c.work(class))
 	}
 }
 
+// Away tells that a request was turned away unsent: by the bounds, or by the balancer although they had let it in.
+func (c *Control) Away(now Micros, class int, let bool) {
+	if class >= 0 && class < len(c.took) {
+		c.came.add(now, c.work(class))
+	}
+	if let {
+		c.level.vain()
+	}
+}
+
 // work is what a request of a class costs, as time at an endpoint.
 func (c *Control) work(class int) float64 {
 	return c.took[class].v
 }
 
-// Refused tells that the balancer turned a request away unsent that the bounds had let in.
-func (c *Control) Refused() { c.level.vain() }
-
 // Ending is how an attempt ended.
 type Ending uint8
 
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -109,7 +109,7 @@
 				for now := Micros(0); now < seconds*second; now += second / 20 {
 					for range 5 {
 						c.Asked(now, 0, -1, true) // a storm of repeats
-						c.Refused()
+						c.Away(now, 0, true)
 					}
 					if up || now%second == 0 { // what endpoints tell does not end with their service
 						c.Reported(now, Load{Inflight: 4, Served: serves})
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -50,7 +50,7 @@
 		if len(c.attempts) == 0 {
 			x.pool.turnedAway(x.now)
 			if l := x.pool.loaded; l != nil {
-				l.control.Refused()
+				l.control.Away(x.now, int(c.In.Class), true)
 			}
 		}
 		x.finish(c, Answer{Verdict: Refused, RetryAfter: retryAfter, Reply: c.said})
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -75,6 +75,7 @@
 	after, yes := p.balancer.TurnsAway(c.In)
 	if yes {
 		l.shed++
+		l.control.Away(now, int(c.In.Class), false)
 		p.turnedAway(now)
 		p.engine.finish(c, Answer{Verdict: Refused, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
 	}
