--- /dev/null
+++ b/internal/decide/loans/divide.go
@@ -0,0 +1,116 @@
+package loans
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// silent is after how many periods without a question a holder is taken to want nothing. What it was lent is its own until that
+// has ended.
+const silent = 3
+
+// divide decides anew what each holder is to have of each budget: by max-min over what they want (Bertsekas and Gallager,
+// "Data Networks", 6.5.2), in whole units. Where not all can have what they want, no holder counts for more than what it has
+// shown to use: one that asks for everything gets what fairness gives.
+func (b *Book) divide(now Micros) {
+	b.dividedAt, b.stale = now, false
+	var heard []*borrower
+	for _, x := range b.order {
+		clear(x.targets)
+		b.count(now, x)
+		if now-x.heardAt <= silent*b.s.Every {
+			heard = append(heard, x)
+		}
+	}
+	for k, name := range b.names {
+		budget := b.budgets[name]
+		if budget.earned {
+			budget.units = 0
+			for _, x := range heard {
+				budget.units += x.wants[name].Earns
+			}
+			budget.units = min(budget.units, budget.ceiling)
+		}
+		if len(heard) > 0 {
+			b.split(now, name, uint64(k), heard)
+		}
+	}
+}
+
+// turn is for how long the same holders come first where there is less than a unit for each.
+const turn = 4 * second
+
+// split divides one budget.
+func (b *Book) split(now Micros, name string, seed uint64, heard []*borrower) {
+	left := b.lendable(name)
+	if left <= 0 {
+		return
+	}
+	fair := float64(left) / float64(len(heard))
+	wants, total := make([]int, len(heard)), 0
+	order := make([]int, len(heard))
+	turns := make([]uint64, len(heard))
+	for i, x := range heard {
+		w := x.wants[name]
+		wants[i] = int(min(math.Ceil(w.Asked), float64(left)))
+		total += wants[i]
+		order[i] = i
+		turns[i] = mix(seed, uint64(now/turn), text(x.name))
+	}
+	if total > left {
+		for i, x := range heard {
+			shown := math.Max(fair, 2*x.wants[name].Used+float64(left)/evidence)
+			wants[i] = min(wants[i], int(math.Ceil(shown)))
+		}
+	}
+	// The least wants first: each gets what it wants as long as that is within an equal part of what is left.
+	slices.SortFunc(order, func(a, c int) int { return cmp.Or(cmp.Compare(wants[a], wants[c]), cmp.Compare(turns[a], turns[c])) })
+	for i, at := range order {
+		n := min(wants[at], left/(len(order)-i))
+		heard[at].targets[name] = n
+		left -= n
+	}
+	// Units that no equal part could have are given in turn.
+	for _, at := range order {
+		if left == 0 {
+			return
+		}
+		if x := heard[at]; x.targets[name] < wants[at] {
+			x.targets[name]++
+			left--
+		}
+	}
+	// What nobody wants now is lent all the same, for what comes before the next question; a part of it is kept for who asks next.
+	spare := left - left/4
+	slices.SortFunc(order, func(a, c int) int { return cmp.Compare(turns[a], turns[c]) })
+	for i, at := range order {
+		n := spare / (len(order) - i)
+		heard[at].targets[name] += n
+		spare -= n
+	}
+}
+
+// evidence is the part of a budget by which a holder may want more than twice what it uses.
+const evidence = 16
+
+// mix is a number that three others give, without order (SplitMix64).
+func mix(a, b, c uint64) uint64 {
+	z := a
+	for _, v := range [...]uint64{b, c} {
+		z = (z ^ v) + 0x9e3779b97f4a7c15
+		z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+		z = (z ^ z>>27) * 0x94d049bb133111eb
+		z ^= z >> 31
+	}
+	return z
+}
+
+// text is a hash of a text (FNV-1a).
+func text(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/internal/decide/loans/loans.go
@@ -0,0 +1,109 @@
+// Package loans divides budgets among the instances of a fleet: so many units of something in any second, whole ones, over all
+// of them together. A holder is lent so many units of each budget for a time, and may spend that many in any second until the
+// loan ends by its own clock; a book, at whoever holds the one lease of the fleet (package lease), lends them. The sum spent
+// stays within the budget in every second, whatever is lost, late, doubled or out of order, whoever is killed, stopped, cut off
+// or lies; that all of it is used where it is wanted is the aim after that. Both are deterministic state machines for one
+// caller at a time: no I/O, no clock. They may not know what a budget is of, sockets, or who is alive.
+//
+// Why the sum holds. (1) A holder counts what it spent in the second before each unit that it spends, so that in any second it
+// spends no more than the most that it could use at once within it: its least, and what a loan in force gives it. (2) A loan is
+// in force from when it is heard of until its length after its question went out, by the holder's clock. The book takes its
+// units for used from when it lends them until that length and a second more are over by any clock, or until a second after the
+// holder has said that a later loan is in force in its place: the holder never goes back. So what the book
+// takes for used at an instant is at least what holders can have spent in the second that ends there. (3) It lends so much that
+// this, over all holders, is within the budget less all leasts. (4) There is one book at a time. A new one lends nothing but
+// what holders show it that they hold, until all that the one before can have lent is over; and it hears only questions that
+// were asked since it is the book (Ask.Term), so that what they show was not lent to others meanwhile. docs/design/shares.md
+// has it at length.
+package loans
+
+import (
+	"fmt"
+
+	"dunlinsail/internal/decide/lease"
+)
+
+// Micros is an instant or a duration in microseconds, by the own clock, which never runs backwards and does not stand still
+// while its machine sleeps.
+type Micros = int64
+
+const second Micros = 1_000_000
+
+// Settings are the same for all instances of a fleet.
+type Settings struct {
+	Most   int // instances that may run at once, at most: for so many a least is held ready
+	Ready  float64
+	Length Micros // of a loan
+	Every  Micros // from one question of a holder to its next
+	Drift  float64
+}
+
+// SettingError names a setting that makes no sense.
+type SettingError struct{ Key, Reason string }
+
+// Error says which, and why.
+func (e *SettingError) Error() string { return fmt.Sprintf("loans: %s: %s", e.Key, e.Reason) }
+
+// Check returns a *SettingError of settings that make no sense.
+func (s *Settings) Check() error {
+	switch {
+	case s.Most < 1:
+		return &SettingError{"most", "must be at least 1"}
+	case !(s.Ready >= 0 && s.Ready <= 1):
+		return &SettingError{"ready", "must be in 0..1"}
+	case s.Every < 1000:
+		return &SettingError{"every", "must be a millisecond at least"}
+	case s.Length < 4*s.Every:
+		return &SettingError{"length", "must be four times every at least, or a lost word ends a loan"}
+	case !(s.Drift >= 0 && s.Drift <= 0.1):
+		return &SettingError{"drift", "must be in 0..0.1"}
+	}
+	return nil
+}
+
+// Least returns what of a budget of so many units each instance has without a loan: its part of what is held ready.
+func (s *Settings) Least(units float64) int { return int(s.Ready * units / float64(s.Most)) }
+
+// Lendable returns what of it can be lent.
+func (s *Settings) Lendable(units float64) int { return int(units) - s.Least(units)*s.Most }
+
+// window is the second within which a budget holds, as long as it is by any clock.
+func (s *Settings) window() Micros { return lease.Longer(second, s.Drift) }
+
+// over is for how long a loan that is given now may be in force.
+func (s *Settings) over() Micros { return lease.Longer(s.Length, s.Drift) }
+
+// Want is what a holder says of a budget.
+type Want struct {
+	Budget string
+	Asked  float64 // units a second that it would spend
+	Used   float64 // that it spent of late
+	Holds  int     // units of the loan in force
+	Earns  float64 // of a budget that holders earn: what this one adds to it
+}
+
+// Ask is a holder's question: what may I spend?
+type Ask struct {
+	Life   uint64     // of the holder
+	Number uint64     // of the question; they grow
+	Term   lease.Term // of the book that is asked, as far as the holder knows it: a book answers no question of another term with a loan
+	Of     uint64     // the loan in force, by its serial; 0 is none
+	OfTerm lease.Term // and who lent it
+	Wants  []Want
+}
+
+// Share is what of a budget a loan gives.
+type Share struct {
+	Budget string
+	Units  int
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Life   uint64
+	Number uint64 // of the question
+	Term   lease.Term
+	Serial uint64 // of the loan; 0 is that this is none: ask again, in this term
+	Length Micros // from when the question went out, by the holder's clock
+	Shares []Share
+}
