--- /dev/null
+++ b/internal/decide/fleet/fleet.go
@@ -0,0 +1,353 @@
+// Package fleet is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
+// the fleet's one lease (package lease), what each may spend of the fleet's budgets (package loans) and what all have seen
+// (package evidence). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
+// it for loans once in a while, and tell it with that what they have seen. Nothing waits for any of it: whoever is not answered
+// goes on with what it holds, and then with its least. It is a deterministic state machine for one caller at a time: no I/O, no
+// clock, chance by a seed. It may not know how words are carried, or whom.
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"dunlinsail/internal/decide/evidence"
+	"dunlinsail/internal/decide/lease"
+	"dunlinsail/internal/decide/loans"
+)
+
+// Micros is an instant or a duration in microseconds, by the own clock, which never runs backwards and does not stand still
+// while its machine sleeps.
+type Micros = int64
+
+// Settings are the same for all instances of a fleet, but for Self and Seed.
+type Settings struct {
+	Self    string
+	Lenders []string // names; a majority of them decides who keeps the book
+	Loans   loans.Settings
+	Lease   Micros // how long the one who keeps the book does, without a majority that says so anew
+	Seed    uint64
+}
+
+// Word is what instances tell one another; one of its parts is set.
+type Word struct {
+	Lease *lease.Word
+	Ask   *loans.Ask
+	Seen  *evidence.Seen // with Ask
+	Grant *loans.Grant
+	All   *evidence.All // with Grant
+}
+
+// Out is a word that is to be told.
+type Out struct {
+	To   string
+	Word Word
+}
+
+// Member is one instance. Make one with New; it says nothing, and spends nothing, before Begin or Restore.
+type Member struct {
+	s      Settings
+	rng    *rand.Rand
+	holder *loans.Holder
+	voter  *lease.Voter // nil for who is no lender
+	book   *loans.Book
+	sum    *evidence.Sum
+	all    evidence.All // that it comes to,
+	allAt  Micros       // as added up last
+	out    []Out
+
+	seen   func(now Micros) evidence.Seen // what it has seen itself; may be nil
+	told   evidence.All                   // what all have
+	toldAt Micros
+	news   bool // since it was taken last
+	askAt  Micros
+	since  Micros // unanswered since then
+}
+
+// New returns an instance that has not begun, or the error of settings that make no sense.
+func New(s Settings) (*Member, error) {
+	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: evidence.NewSum()}
+	var err error
+	if m.holder, err = loans.NewHolder(s.Loans); err != nil {
+		return nil, err
+	}
+	if m.book, err = loans.NewBook(s.Loans); err != nil {
+		return nil, err
+	}
+	_, err = lease.New(0, m.lease(1))
+	if m.lends() && err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *Member) lends() bool { return slices.Contains(m.s.Lenders, m.s.Self) }
+
+func (m *Member) lease(life uint64) lease.Settings {
+	return lease.Settings{Self: m.s.Self, Life: life, Voters: m.s.Lenders, Length: m.s.Lease, Drift: m.s.Loans.Drift, Seed: m.s.Seed}
+}
+
+// Sees says what tells what the instance has seen itself.
+func (m *Member) Sees(f func(now Micros) evidence.Seen) { m.seen = f }
+
+// Begin begins the instance's life, as a process that no other is beside. life is a number that no other process of its name
+// has had.
+func (m *Member) Begin(now Micros, life uint64) {
+	m.holder.Begin(now, life)
+	m.begin(now, life)
+}
+
+// Restore begins in another process's place, with what it had so long ago.
+func (m *Member) Restore(now, age Micros, life uint64, s *loans.State) {
+	m.holder.Restore(now, age, s)
+	m.begin(now, life)
+}
+
+func (m *Member) begin(now Micros, life uint64) {
+	m.out, m.since = nil, now
+	m.askAt = now + m.rng.Int64N(m.s.Loans.Every) // all may start at once
+	if m.lends() {
+		m.voter, _ = lease.New(now, m.lease(life)) // its settings were taken before
+	}
+}
+
+// Begun says whether it has begun.
+func (m *Member) Begun() bool { return m.holder.Begun() }
+
+// Give ends this process's part, for another that takes its place, and returns what that has to know.
+func (m *Member) Give(now Micros) *loans.State {
+	s := m.holder.Give(now)
+	m.Leave(now)
+	return s
+}
+
+// Leave tells that the process is about to end: the others need not wait until its lease is over.
+func (m *Member) Leave(now Micros) {
+	if m.voter != nil {
+		m.voter.Resign(now)
+		m.flush()
+		m.voter = nil
+	}
+	m.book.End()
+}
+
+// ---- Budgets ---------------------------------------------------------------
+
+// Budget says what units a second a budget has over all instances; earned says that it is what instances add up to.
+func (m *Member) Budget(name string, units float64, earned bool) {
+	if earned {
+		units = 0
+	}
+	m.holder.Budget(name, units)
+	m.book.Budget(name, units, earned)
+}
+
+// Forget forgets a budget.
+func (m *Member) Forget(name string) {
+	m.holder.Forget(name)
+	m.book.Forget(name)
+}
+
+// Earn says what units a second this instance adds to a budget, and what all can add by what endpoints report.
+func (m *Member) Earn(name string, units, ceiling float64) {
+	m.holder.Earn(name, units)
+	m.book.Ceiling(name, ceiling)
+}
+
+// Want notes that a unit is asked for, whether or not there is one.
+func (m *Member) Want(now Micros, name string) { m.holder.Want(now, name) }
+
+// Take spends a unit, and says whether there was one.
+func (m *Member) Take(now Micros, name string) bool { return m.holder.Take(now, name) }
+
+// Left returns how many units may be spent at once.
+func (m *Member) Left(now Micros, name string) int { return m.holder.Left(now, name) }
+
+// Lent says whether a loan is in force.
+func (m *Member) Lent(now Micros) bool {
+	_, _, _, yes := m.holder.Loan(now)
+	return yes
+}
+
+// ---- Words -----------------------------------------------------------------
+
+// Next is when Tick has something to do.
+func (m *Member) Next() Micros {
+	at := m.askAt
+	if m.voter != nil {
+		at = min(at, m.voter.Next())
+	}
+	return at
+}
+
+// Out returns what is to be told since it was called last.
+func (m *Member) Out() []Out {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Tick does what is due.
+func (m *Member) Tick(now Micros) {
+	if !m.Begun() {
+		return
+	}
+	if m.voter != nil {
+		m.voter.Tick(now)
+		m.flush()
+		m.keep(now)
+	}
+	if now >= m.askAt {
+		m.ask(now)
+	}
+}
+
+// flush takes the voter's words.
+func (m *Member) flush() {
+	for _, o := range m.voter.Take() {
+		m.out = append(m.out, Out{o.To, Word{Lease: &o.Word}})
+	}
+}
+
+// keep keeps the book while the lease is held.
+func (m *Member) keep(now Micros) {
+	held, _, yes := m.voter.Holds(now)
+	if term, open := m.book.Open(); open && (!yes || held != term) {
+		m.book.End()
+	}
+	if _, open := m.book.Open(); yes && !open {
+		m.book.Begin(now, held)
+		m.sum, m.all, m.allAt = evidence.NewSum(), evidence.All{}, 0
+	}
+}
+
+// unanswered is after how many periods without an answer all lenders are asked who keeps the book.
+const unanswered = 3
+
+// ask asks for a loan, and tells what was seen.
+func (m *Member) ask(now Micros) {
+	every := m.s.Loans.Every
+	m.askAt = now + every - every/16 + m.rng.Int64N(every/8) // not in step
+	if len(m.s.Lenders) == 0 {
+		return
+	}
+	if now-m.since > unanswered*every {
+		m.holder.Lost()
+		m.since = now
+	}
+	a := m.holder.Ask(now)
+	w := Word{Ask: &a}
+	if m.seen != nil {
+		seen := m.seen(now)
+		w.Seen = &seen
+	}
+	if a.Term.Holder != "" {
+		m.tell(now, a.Term.Holder, w)
+		return
+	}
+	for _, name := range m.s.Lenders {
+		m.tell(now, name, w)
+	}
+}
+
+func (m *Member) tell(now Micros, to string, w Word) {
+	if to == m.s.Self {
+		m.Hear(now, to, w)
+		return
+	}
+	m.out = append(m.out, Out{to, w})
+}
+
+// Hear takes another's word in.
+func (m *Member) Hear(now Micros, from string, w Word) {
+	switch {
+	case !m.Begun():
+	case w.Lease != nil && m.voter != nil:
+		m.voter.Hear(now, from, *w.Lease)
+		m.flush()
+		m.keep(now)
+	case w.Ask != nil && m.voter != nil:
+		m.keep(now)
+		g, ok := m.book.Hear(now, from, *w.Ask)
+		if !ok {
+			return
+		}
+		answer := Word{Grant: &g}
+		if w.Seen != nil {
+			m.sum.Hear(now, from, *w.Seen)
+		}
+		if g.Serial != 0 {
+			all := m.everything(now) // its own copy: it goes on while the sum is made anew
+			answer.All = &all
+		}
+		m.tell(now, from, answer)
+	case w.Grant != nil:
+		if m.holder.Hear(now, *w.Grant) {
+			m.askAt = now
+		}
+		if _, at := m.holder.Book(); at == now {
+			m.since = now
+			if w.All != nil {
+				m.told, m.toldAt, m.news = *w.All, now, true
+			}
+		}
+	}
+}
+
+// everything is what all have seen, added up once in a while.
+func (m *Member) everything(now Micros) evidence.All {
+	if now-m.allAt >= m.s.Loans.Every/4 {
+		m.all, m.allAt = m.sum.All(now), now
+	}
+	return m.all
+}
+
+// old is for how many periods what all have seen is taken for what they see.
+const old = 6
+
+// Told returns what all have seen, once each time that it is news; ok is false where nothing new was heard. Where nothing has
+// been heard for long it returns nothing as news, once.
+func (m *Member) Told(now Micros) (all evidence.All, ok bool) {
+	if !m.news && m.told.Members > 0 && now-m.toldAt > old*m.s.Loans.Every {
+		m.told, m.news = evidence.All{}, true
+	}
+	ok, m.news = m.news, false
+	return m.told, ok
+}
+
+// ---- For people --------------------------------------------------------------
+
+// View is what an instance knows of its fleet.
+type View struct {
+	Begun    bool
+	Book     string // who keeps it, as far as is known
+	HeardAgo Micros // from the book
+	Loan     Micros // until the loan in force ends; 0 is that there is none
+	Shares   []Share
+	Members  int          // whose words the book has
+	Learning Micros       // keeping the book, until it lends anew; 0 is that it does
+	Loans    []loans.Loan // if it keeps the book
+}
+
+// Share is what an instance may spend of a budget.
+type Share struct {
+	Budget  string
+	Allowed int // within a second
+	Spent   int // within the last
+}
+
+// View returns what the instance knows.
+func (m *Member) View(now Micros) View {
+	term, at := m.holder.Book()
+	v := View{Begun: m.Begun(), Book: term.Holder, HeardAgo: now - at, Members: m.told.Members}
+	if until, _, _, yes := m.holder.Loan(now); yes {
+		v.Loan = until - now
+	}
+	for _, name := range m.holder.Names() {
+		v.Shares = append(v.Shares, Share{name, m.holder.Allowed(now, name), m.holder.Allowed(now, name) - m.holder.Left(now, name)})
+	}
+	if _, open := m.book.Open(); open {
+		v.Learning = max(0, m.book.Learning()-now)
+		v.Loans = m.book.Loans(now)
+	}
+	return v
+}
