Carry words between instances by hashicorp/memberlist, in CBOR, beside the engine

Need: what instances decide together needs somebody who finds the others, hears of their end and carries words.

Change: package peers over memberlist (SWIM with Lifeguard) and fxamacker/cbor; fleets of different names do not mix; an address can be reached through another one; words beyond a datagram go by stream; nothing waits, and what is too much is dropped and counted. After a split that lasted, the addresses to join are asked anew every two seconds.

--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,364 @@
+// Package peers carries words between the instances of a fleet: it finds the others and hears of their end by
+// hashicorp/memberlist (SWIM: Das, Gupta, Motivala 2002, with Lifeguard: Dadgar, Phillips, Currey 2017), and sends words as that
+// library's user messages, in CBOR (RFC 8949). A word may be lost, late, doubled or out of order: who says it counts on nothing.
+// It decides nothing, and may not know engines or what words mean. What a list of endpoints comes from is package membership's.
+package peers
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+
+	"dunlinsail/internal/decide/fleet"
+)
+
+// Options are what an instance needs to be among others.
+type Options struct {
+	Name    string
+	Fleet   string            // of another name is another fleet: nothing passes between them
+	Address string            // host:port, UDP and TCP
+	Join    []string          // addresses of some others
+	Via     map[string]string // where an address is reached from here, if not there
+	Log     *slog.Logger
+	Hear    func(from string, w fleet.Word) // is called with one word at a time; may wait
+}
+
+// Member is an instance, as far as is known here.
+type Member struct {
+	Name    string
+	Address string
+	Alive   bool
+	Since   time.Time // it is so
+}
+
+// Peers is an instance's place among the others. Its methods may be called from many goroutines.
+type Peers struct {
+	o    Options
+	list *memberlist.Memberlist
+	in   chan envelope
+	out  chan outgoing
+	over chan struct{}
+	work sync.WaitGroup
+
+	mu    sync.Mutex
+	known map[string]*Member
+
+	sent, heard, bytes, dropped, spoilt atomic.Uint64
+}
+
+// envelope is a word as it is carried.
+type envelope struct {
+	From string     `cbor:"1,keyasint"`
+	To   string     `cbor:"2,keyasint"`
+	Word fleet.Word `cbor:"3,keyasint"`
+}
+
+type outgoing struct {
+	to   string
+	word fleet.Word
+}
+
+const (
+	// waiting is how many words wait for their turn, in and out; beyond that they are lost, as on any way.
+	waiting = 4096
+	// packetMost is the largest word that goes as a datagram: with the library's own head it stays within an Ethernet frame.
+	packetMost = 1300
+	// wordMost bounds a word that comes, and what is in it.
+	wordMost  = 64 << 10
+	itemsMost = 4096
+	// again is how often those of Join that are not known are asked to let this instance in: after a split nobody else would.
+	again = 2 * time.Second
+	// leaveFor is how long telling the others of the end may take.
+	leaveFor = 500 * time.Millisecond
+)
+
+var (
+	encoding, _ = cbor.EncOptions{Sort: cbor.SortNone, ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	decoding, _ = cbor.DecOptions{MaxArrayElements: itemsMost, MaxMapPairs: itemsMost, MaxNestedLevels: 16,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+)
+
+// Encode returns the form of a word.
+func Encode(from, to string, w fleet.Word) ([]byte, error) {
+	return encoding.Marshal(envelope{from, to, w})
+}
+
+// Start has an instance be among the others, or returns the error of an address that cannot be had. That nobody else is there
+// is none.
+func Start(o Options) (*Peers, error) {
+	host, port, err := net.SplitHostPort(o.Address)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p := &Peers{o: o, in: make(chan envelope, waiting), out: make(chan outgoing, waiting), over: make(chan struct{}), known: map[string]*Member{}}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label = o.Name, o.Fleet
+	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = host, n, host, n
+	c.Logger = slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)
+	c.Delegate, c.Events = (*delegate)(p), (*delegate)(p)
+	c.DeadNodeReclaimTime = time.Second // a process that starts anew in another's place may come at another address
+	c.TCPTimeout = 2 * time.Second
+	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: n, Logger: c.Logger})
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	c.Transport = &transport{net, o.Via}
+	if p.list, err = memberlist.Create(c); err != nil {
+		net.Shutdown()
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p.work.Go(p.hear)
+	p.work.Go(p.send)
+	p.work.Go(p.join)
+	return p, nil
+}
+
+// Close ends the instance's part. With leave the others are told; without, another process takes its place at once.
+func (p *Peers) Close(leave bool) {
+	close(p.over)
+	if leave {
+		if err := p.list.Leave(leaveFor); err != nil {
+			p.o.Log.Info("not all others have heard that this instance leaves", "error", err)
+		}
+	}
+	if err := p.list.Shutdown(); err != nil {
+		p.o.Log.Warn("peers", "error", err)
+	}
+	p.work.Wait()
+}
+
+// Tell sends a word to an instance by its name. It never waits; whether it comes is not known.
+func (p *Peers) Tell(to string, w fleet.Word) {
+	select {
+	case p.out <- outgoing{to, w}:
+	default:
+		p.dropped.Add(1)
+	}
+}
+
+// Members returns the instances that are known, by name.
+func (p *Peers) Members() (all []Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.known {
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Figures are what the words come to.
+type Figures struct{ Sent, Heard, Bytes, Dropped, Spoilt uint64 }
+
+// Figures returns them.
+func (p *Peers) Figures() Figures {
+	return Figures{p.sent.Load(), p.heard.Load(), p.bytes.Load(), p.dropped.Load(), p.spoilt.Load()}
+}
+
+// hear hands words over.
+func (p *Peers) hear() {
+	for {
+		select {
+		case e := <-p.in:
+			p.o.Hear(e.From, e.Word)
+		case <-p.over:
+			return
+		}
+	}
+}
+
+// send sends words.
+func (p *Peers) send() {
+	for {
+		select {
+		case o := <-p.out:
+			p.carry(o)
+		case <-p.over:
+			for { // what was said before the end is still sent
+				select {
+				case o := <-p.out:
+					p.carry(o)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+func (p *Peers) carry(o outgoing) {
+	p.mu.Lock()
+	m := p.known[o.to] // one that is taken for dead, too: it may only be the way back that is cut
+	p.mu.Unlock()
+	if m == nil {
+		p.dropped.Add(1)
+		return
+	}
+	text, err := Encode(p.o.Name, o.to, o.word)
+	if err != nil {
+		p.o.Log.Error("a word that has no form", "error", err)
+		return
+	}
+	p.sent.Add(1)
+	p.bytes.Add(uint64(len(text)))
+	to := memberlist.Address{Addr: m.Address, Name: o.to}
+	if len(text) <= packetMost {
+		if err := p.list.SendToAddress(to, text); err != nil {
+			p.o.Log.Debug("word not sent", "to", o.to, "error", err)
+		}
+		return
+	}
+	host, port, _ := net.SplitHostPort(m.Address)
+	n, _ := strconv.Atoi(port)
+	node := &memberlist.Node{Name: o.to, Addr: net.ParseIP(host), Port: uint16(n)}
+	p.work.Go(func() {
+		if err := p.list.SendReliable(node, text); err != nil {
+			p.o.Log.Debug("word not sent", "to", o.to, "error", err)
+		}
+	})
+}
+
+// join asks to be let in by those who are not known, now and then: nobody else does after a start, or after a split that lasted.
+func (p *Peers) join() {
+	if len(p.o.Join) == 0 {
+		return
+	}
+	turn := time.NewTimer(0)
+	defer turn.Stop()
+	for {
+		select {
+		case <-turn.C:
+		case <-p.over:
+			return
+		}
+		if missing := p.missing(); len(missing) > 0 {
+			if _, err := p.list.Join(missing); err != nil {
+				p.o.Log.Debug("not let in", "error", err)
+			}
+		}
+		turn.Reset(again)
+	}
+}
+
+// missing returns the addresses of Join at which nobody is known to be alive.
+func (p *Peers) missing() (all []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, addr := range p.o.Join {
+		if addr != p.o.Address && !slices.ContainsFunc(slices.Collect(maps.Values(p.known)), func(m *Member) bool { return m.Alive && m.Address == addr }) {
+			all = append(all, addr)
+		}
+	}
+	return all
+}
+
+// ---- What the library tells --------------------------------------------------
+
+type delegate Peers
+
+// NodeMeta is nothing.
+func (d *delegate) NodeMeta(int) []byte { return nil }
+
+// NotifyMsg takes a word in. It must not wait.
+func (d *delegate) NotifyMsg(text []byte) {
+	var e envelope
+	if len(text) > wordMost || decoding.Unmarshal(text, &e) != nil {
+		d.spoilt.Add(1)
+		return
+	}
+	if e.To != d.o.Name {
+		return // it was for another, whose address this was
+	}
+	select {
+	case d.in <- e:
+		d.heard.Add(1)
+	default:
+		d.dropped.Add(1)
+	}
+}
+
+// GetBroadcasts has nothing.
+func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState is nothing.
+func (d *delegate) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState takes nothing.
+func (d *delegate) MergeRemoteState([]byte, bool) {}
+
+// NotifyJoin notes an instance.
+func (d *delegate) NotifyJoin(n *memberlist.Node) { d.note(n, true) }
+
+// NotifyUpdate notes where it is.
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.note(n, true) }
+
+// NotifyLeave notes that it is gone, or taken for that.
+func (d *delegate) NotifyLeave(n *memberlist.Node) { d.note(n, false) }
+
+func (d *delegate) note(n *memberlist.Node, alive bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.known[n.Name]
+	if m == nil {
+		m = &Member{Name: n.Name}
+		d.known[n.Name] = m
+	}
+	m.Address = n.Address()
+	if m.Alive != alive || m.Since.IsZero() {
+		m.Alive, m.Since = alive, time.Now()
+		if n.Name != d.o.Name {
+			d.o.Log.Info("instance of the fleet", "name", n.Name, "address", m.Address, "alive", alive)
+		}
+	}
+}
+
+// ---- Ways ------------------------------------------------------------------
+
+// transport is the library's, with addresses that are reached elsewhere.
+type transport struct {
+	*memberlist.NetTransport
+	via map[string]string
+}
+
+func (t *transport) through(addr string) string {
+	if via, ok := t.via[addr]; ok {
+		return via
+	}
+	return addr
+}
+
+// WriteTo sends a datagram.
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return t.NetTransport.WriteTo(b, t.through(addr))
+}
+
+// WriteToAddress sends a datagram.
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	a.Addr = t.through(a.Addr)
+	return t.NetTransport.WriteToAddress(b, a)
+}
+
+// DialTimeout connects.
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	return t.NetTransport.DialTimeout(t.through(addr), timeout)
+}
+
+// DialAddressTimeout connects.
+func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	a.Addr = t.through(a.Addr)
+	return t.NetTransport.DialAddressTimeout(a, timeout)
+}
