Let the daemon be one of its fleet's instances: [peers], [operators], members, limits of tenants

Need: the engine's part in its fleet needs a place in the operator's file, a clock that goes on while the host sleeps, its handover between processes and generations, and somebody who tells on-call staff what is lent to whom.

Change: tables [peers] and [operators], strictly checked and off by default; tenant.limit. A process that takes over has the loans, and the one that gives spends nothing from then on. Operators' calls (ready, metrics, endpoints by hand) are served by the daemon, too, with GET /members; `dunlinsaild members` tells it to people or as JSON. peers.spent keeps a line for each unit spent, for checking.

--- a/cmd/dunlinsaild/main.go
+++ b/cmd/dunlinsaild/main.go
@@ -25,6 +25,7 @@
 	Serve            serveCmd      `cmd:"" default:"withargs" help:"Serve; take over from the process that serves now. (The default.)"`
 	Check            checkCmd      `cmd:"" help:"Say what is wrong with a file."`
 	Config           configCmd     `cmd:"" help:"Versions of the configuration from a control service."`
+	Members          membersCmd    `cmd:"" help:"What a daemon knows of the other instances, and what is lent to whom."`
 	Playground       playgroundCmd `cmd:"" help:"Show a daemon at work beside stand-ins; Ctrl-C ends it."`
 	PlaygroundClient clientCmd     `cmd:"" hidden:"" help:"A part of the playground."`
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,9 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/shares"
@@ -33,6 +35,7 @@
 	Process   Process   `toml:"process"`
 	Discovery Discovery `toml:"discovery"`
 	Takeover  Takeover  `toml:"takeover"`
+	Operators Operators `toml:"operators"`
 	Record    Record    `toml:"record"`
 	Control   Control   `toml:"control"`
 
@@ -49,6 +52,7 @@
 	Refusals Refusals `toml:"refusals"`
 	Probes   Probes   `toml:"probes"`
 	Overload Overload `toml:"overload"`
+	Peers    Peers    `toml:"peers"`
 	Rules    Rules    `toml:"rules"`
 	Prices   Prices   `toml:"prices"`
 	Goal     Goal     `toml:"goal"`
@@ -87,6 +91,11 @@
 	DrainWithin strict.Duration `toml:"drain_within"`
 }
 
+// Operators says where operators call.
+type Operators struct {
+	Address string `toml:"address"` // host:port on loopback; empty: nowhere
+}
+
 // Record says whether and how an access record is kept.
 type Record struct {
 	Dir         string          `toml:"dir"` // empty: none is
@@ -227,6 +236,7 @@
 	Name      string  `toml:"name"`
 	Allowance float64 `toml:"allowance"` // requests a second over all instances
 	Share     float64 `toml:"share"`
+	Limit     float64 `toml:"limit"` // requests a second over all instances that are let in at most; 0 is no limit
 }
 
 // Attempts says what may be tried for a request.
@@ -275,6 +285,57 @@
 	return Overload{Further: s.Further, FurtherSick: s.FurtherSick, Probes: s.Probes, NodeProbes: s.NodeProbes, NodeLeast: s.NodeLeast}
 }
 
+// Peers says how this instance and the others know of one another, and what they decide together.
+type Peers struct {
+	On       bool            `toml:"on"`
+	Fleet    string          `toml:"fleet"`   // of another name is another fleet: they do not mix
+	Address  string          `toml:"address"` // host:port, UDP and TCP, that the others reach this instance at
+	Beyond   bool            `toml:"beyond_loopback"`
+	Join     []string        `toml:"join"`    // addresses of some others
+	Lenders  []string        `toml:"lenders"` // names of instances, of which one lends
+	Lends    []string        `toml:"lends"`   // what is decided together
+	Loan     strict.Duration `toml:"loan"`
+	Every    strict.Duration `toml:"every"`
+	Lease    strict.Duration `toml:"lease"`
+	Ready    float64         `toml:"ready"` // the part of each budget that instances have without a loan
+	Drift    float64         `toml:"drift"`
+	Ways     []string        `toml:"ways"`  // "ADDRESS=VIA": an instance's address, and where it is reached from here
+	SpentLog string          `toml:"spent"` // a file: a line for each unit that is spent of a budget
+}
+
+// uses are what peers.lends may name.
+var uses = map[string]func(u *engine.Uses){
+	"further":  func(u *engine.Uses) { u.Further = true },
+	"probes":   func(u *engine.Uses) { u.Probes = true },
+	"tenants":  func(u *engine.Uses) { u.Tenants = true },
+	"level":    func(u *engine.Uses) { u.Level = true },
+	"suspects": func(u *engine.Uses) { u.Suspects = true },
+}
+
+// Together returns what is decided together, as the engine takes it, without who carries words; nil is nothing.
+func (c *Config) Together(seed uint64) *engine.Together {
+	p := &c.Peers
+	if !p.On {
+		return nil
+	}
+	t := &engine.Together{Fleet: fleet.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: loans.Settings{
+		Most: c.Fleet.Instances, Ready: p.Ready, Length: p.Loan.Micros(), Every: p.Every.Micros(), Drift: p.Drift}}}
+	for _, name := range p.Lends {
+		uses[name](&t.Uses)
+	}
+	return t
+}
+
+// Via returns where an instance's address is reached from here.
+func (p *Peers) Via() map[string]string {
+	via := map[string]string{}
+	for _, way := range p.Ways {
+		from, to, _ := strings.Cut(way, "=")
+		via[from] = to
+	}
+	return via
+}
+
 // Rules are the figures of the rules that must hold (PROTOCOL).
 type Rules struct {
 	DrainGrace   strict.Duration `toml:"drain_grace"`
@@ -318,6 +379,8 @@
 		Refusals:    Refusals{RetryAfter: true, RetryAfterMost: strict.Duration{Duration: time.Second}},
 		Probes:      Probes{Report: "none"},
 		Overload:    overloadShipped(),
+		Peers: Peers{Fleet: "dunlinsail", Lends: []string{"further", "probes", "tenants", "level", "suspects"}, Loan: strict.Duration{Duration: 3 * time.Second},
+			Every: strict.Duration{Duration: 250 * time.Millisecond}, Lease: strict.Duration{Duration: 2 * time.Second}, Ready: 0.1, Drift: 0.005},
 		Rules: Rules{DrainGrace: strict.Duration{Duration: 250 * time.Millisecond}, ColdFrom: 0.2, WarmAfter: strict.Duration{Duration: 20 * time.Second},
 			FallMultiple: 2.5, FallAfter: strict.Duration{Duration: 2 * time.Second}, AskWithin: strict.Duration{Duration: 10 * time.Second}},
 		Goal:  Goal{Whole: 1},
@@ -415,9 +478,12 @@
 
 	k.That(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
 
+	host, _, _ := net.SplitHostPort(c.Operators.Address)
+	k.That(c.Operators.Address == "" || hostPort(c.Operators.Address, 1) && net.ParseIP(host).IsLoopback(), "operators.address", "%q is no host:port on loopback with a port in 1..65535", c.Operators.Address)
 	k.record(&c.Record)
 	k.control(c)
 	k.connections(c)
+	k.peers(c)
 	r := &c.Requests
 	k.That(r.Open >= 1, "requests.open", "%d: must be at least 1", r.Open)
 	k.That(r.InFlight >= 0, "requests.in_flight", "%d is negative", r.InFlight)
@@ -438,6 +504,53 @@
 	k.That(r.Keep.Bytes == 0 || r.Keep.Bytes >= 1<<20, "record.keep", "under 1MiB nothing is kept; \"0B\" is no bound")
 }
 
+func (k *check) peers(c *Config) {
+	p := &c.Peers
+	seen := map[string]bool{}
+	for _, name := range p.Lenders {
+		k.That(name != "", "peers.lenders", "an empty name")
+		k.That(!seen[name], "peers.lenders", "%q is named twice", name)
+		seen[name] = true
+	}
+	for i, name := range p.Lends {
+		strict.Word(&k.Check, "peers.lends", name, uses)
+		k.That(!slices.Contains(p.Lends[:i], name), "peers.lends", "%q is named twice", name)
+	}
+	for _, way := range p.Ways {
+		from, to, two := strings.Cut(way, "=")
+		k.That(two && hostPort(from, 1) && hostPort(to, 1), "peers.ways", "%q is not ADDRESS=VIA, each host:port", way)
+	}
+	k.That(p.Ready >= 0 && p.Ready <= 1, "peers.ready", "%v: must be in 0..1", p.Ready)
+	k.That(p.Drift >= 0 && p.Drift <= 0.1, "peers.drift", "%v: must be in 0..0.1", p.Drift)
+	k.That(p.Every.Duration >= 10*time.Millisecond, "peers.every", "%v: must be at least 10ms", p.Every)
+	k.That(p.Loan.Duration >= 4*p.Every.Duration, "peers.loan", "%v: must be at least four times peers.every, or a lost word ends a loan", p.Loan)
+	k.That(p.Lease.Duration >= 2*p.Every.Duration, "peers.lease", "%v: must be at least twice peers.every", p.Lease)
+	if !p.On {
+		return
+	}
+	host, _, _ := net.SplitHostPort(p.Address)
+	ip := net.ParseIP(host)
+	k.That(ip != nil && hostPort(p.Address, 1), "peers.address", "%q is no address with a port in 1..65535", p.Address)
+	k.That(p.Beyond || ip == nil || ip.IsLoopback(), "peers.address", "%q is beyond loopback: peers.beyond_loopback says that this is meant", p.Address)
+	for _, other := range p.Join {
+		k.That(hostPort(other, 1), "peers.join", "%q is no host:port with a port in 1..65535", other)
+	}
+	k.That(p.Fleet != "", "peers.fleet", "is missing")
+	k.That(len(p.Lenders)%2 == 1 && len(p.Lenders) <= 7, "peers.lenders", "must be 1, 3, 5 or 7 names of instances: a majority of them decides who lends")
+	k.That(len(p.Lends) > 0, "peers.lends", "is empty: nothing would be decided together")
+	k.That(c.Fleet.Instances >= len(p.Lenders), "fleet.instances", "%d is under the number of peers.lenders", c.Fleet.Instances)
+	words := float64(c.Fleet.Instances) / p.Every.Seconds()
+	k.That(words <= wordsMost, "peers.every", "%v: %d instances would ask the one that lends %.0f times a second; %d are the most", p.Every, c.Fleet.Instances, words, wordsMost)
+	k.That(c.Overload.On || !slices.ContainsFunc(p.Lends, func(n string) bool { return n != "suspects" && n != "tenants" }), "peers.lends",
+		"further, probes and level are decided where overload.on is true")
+	for i, t := range c.Tenants {
+		k.That(t.Limit == 0 || slices.Contains(p.Lends, "tenants"), fmt.Sprintf("tenant.%d.limit", i), "%q has a limit over all instances: peers.lends must name \"tenants\"", t.Name)
+	}
+}
+
+// wordsMost is how many questions a second one instance may be asked, at most: each is a millisecond's tenth of work there.
+const wordsMost = 4000
+
 func (k *check) control(c *Config) {
 	n := &c.Control
 	on := n.Address != ""
@@ -630,7 +743,9 @@
 		tenants[t.Name] = true
 		k.That(t.Allowance >= 0 && !math.IsInf(t.Allowance, 0), at("allowance"), "%v: must not be negative", t.Allowance)
 		k.That(t.Share >= 0 && t.Share <= 1, at("share"), "%v: must be in 0..1", t.Share)
+		k.That(t.Limit == 0 || t.Limit >= 1 && t.Limit <= 1e6, at("limit"), "%v: must be 0 for none, or in 1..1000000", t.Limit)
 		s.Tenants = append(s.Tenants, t.Name)
+		s.Limits = append(s.Limits, t.Limit)
 		s.Settings.Tenants = append(s.Settings.Tenants, balancer.Tenant{Name: t.Name, Allowance: t.Allowance, Share: t.Share})
 	}
 	if k.Err() == nil {
--- a/internal/config/resources_test.go
+++ b/internal/config/resources_test.go
@@ -130,6 +130,7 @@
 	"rules.fall_multiple":        {`3`, `0`},
 	"rules.warm_after":           {`"10s"`, `"never"`},
 	"tenant.allowance":           {`10`, `-1`},
+	"tenant.limit":               {`50`, `0.5`},
 	"tenant.name":                {`"acme"`, `""`},
 	"tenant.share":               {`0.5`, `2`},
 }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -6,11 +6,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/peers"
 	"dunlinsail/internal/record"
 	"dunlinsail/internal/upstream"
 )
@@ -27,6 +29,10 @@
 	front   *http1.Front
 	clients *clients
 
+	peers     atomic.Pointer[peers.Peers] // nil while it is among no others
+	spent     *spentLog                   // nil where none is kept
+	operating func()                      // ends serving operators; nil while none are
+
 	recorder *record.Writer // nil where no access record is kept
 	hasher   *record.Hasher
 	tally    *tally // nil where versions are not tried
@@ -46,10 +52,16 @@
 	}
 	d := &generation{o: o, config: c, log: o.Log, pools: pools{}}
 	clk := clock.New()
+	if c.Peers.On {
+		clk = clock.Sleepless() // what is lent ends while the host sleeps, too
+	}
 	n := &c.Connections
 	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
 		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers})
 	d.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log})
+	if err := d.join(); err != nil {
+		return nil, err
+	}
 	for _, conf := range confPools(c) {
 		p, err := d.newPool(conf, c.Site.Settings.Subscribe)
 		if err != nil {
@@ -95,6 +107,10 @@
 	for _, l := range d.listeners {
 		l.close()
 	}
+	d.stopOperating()
+	if d.cancel != nil {
+		d.leaveOthers(true)
+	}
 	for _, p := range d.pools {
 		p.end()
 	}
@@ -106,6 +122,7 @@
 	if d.recorder != nil {
 		d.recorder.Close()
 	}
+	d.spent.close()
 }
 
 // live says whether a configuration can be changed into while serving, and which tables stand in the way.
--- /dev/null
+++ b/internal/daemon/operate.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"dunlinsail/internal/operators"
+	"dunlinsail/internal/takeover"
+)
+
+// operate serves operators' calls, where an address for them is set.
+func (d *generation) operate() error {
+	addr := d.config.Operators.Address
+	if addr == "" || d.operating != nil {
+		return nil
+	}
+	var ln net.Listener
+	var err error
+	for end := time.Now().Add(bindFor); ; time.Sleep(bindAgain) { // the process before this one may still have it
+		if ln, err = net.Listen("tcp", addr); err == nil || time.Now().After(end) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := operators.Serve(ln, d.desk()); err != nil {
+			d.log.Error("operators' calls are not served any more", "error", err)
+		}
+	}()
+	d.operating = func() {
+		ln.Close()
+		<-ended
+	}
+	return nil
+}
+
+func (d *generation) stopOperating() {
+	if d.operating != nil {
+		d.operating()
+		d.operating = nil
+	}
+}
+
+// desk answers operators' calls.
+func (d *generation) desk() operators.Desk {
+	return operators.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.figures, ByHand: d.byHand, Members: d.view, Log: d.log}
+}
+
+// byHand takes an endpoint out, or lets it in again. It holds at this instance, and goes with its place.
+func (d *generation) byHand(ctx context.Context, target string, out bool) error {
+	_, known, err := d.core.ByHand(ctx, target, out, takeover.Monotonic())
+	if err == nil && !known {
+		err = operators.ErrUnknown
+	}
+	return err
+}
+
+// figures returns the figures of one moment, a line each.
+func (d *generation) figures(ctx context.Context) ([]byte, error) {
+	f, err := d.core.Figures(ctx, func() {})
+	if err != nil {
+		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
+	}
+	var b strings.Builder
+	line := func(name string, v uint64) { fmt.Fprintf(&b, "%s=%d\n", name, v) }
+	line("registry_entries", uint64(f.Listed))
+	line("out_of_rotation", uint64(f.Avoided))
+	if f.Bounded {
+		line("overload_level_percent", uint64(100*f.Level+0.5))
+		line("overload_shed", f.Shed)
+		line("overload_probes_kept_in", f.KeptIn)
+	}
+	if f.Limited {
+		line("tenants_over_limit", f.OverLimit)
+	}
+	if p := d.peers.Load(); p != nil {
+		alive := 0
+		for _, m := range p.Members() {
+			if m.Alive {
+				alive++
+			}
+		}
+		w := p.Figures()
+		line("peers_alive", uint64(alive))
+		line("peers_lent", map[bool]uint64{true: 1}[f.Lent])
+		line("peers_suspects", uint64(f.Suspects))
+		line("peers_words_sent", w.Sent)
+		line("peers_words_heard", w.Heard)
+		line("peers_words_dropped", w.Dropped)
+		line("peers_words_spoilt", w.Spoilt)
+		line("peers_bytes_sent", w.Bytes)
+	}
+	return []byte(b.String()), nil
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -365,6 +365,7 @@
 // serve accepts clients, and takers where that is wanted.
 func (l *life) serve() {
 	l.accepted = true
+	l.together()
 	for _, ln := range l.listeners {
 		ln.keep(false)
 		ln.accept(l.front)
@@ -404,6 +405,18 @@
 	l.began()
 }
 
+// together has the instance be among the others of its fleet, and operators be served. That either is not to be had is told, and
+// no reason not to serve: the instance goes on by itself.
+func (l *life) together() {
+	if err := l.joinOthers(); err != nil {
+		l.log.Error("this instance knows of no others, and goes on with its least", "error", err)
+	}
+	l.core.BeginFleet()
+	if err := l.operate(); err != nil {
+		l.log.Error("operators' calls are not served", "error", err)
+	}
+}
+
 // ---- Handing over ----------------------------------------------------------
 
 func (l *life) acceptTakers() {
@@ -556,7 +569,13 @@
 		l.takeLn.Pause(true)
 		l.takes.Wait()
 	}
-	l.state = l.encode(l.core.HandOver())
+	s := l.core.HandOver()
+	if s != nil {
+		s.Fleet = l.core.GiveFleet()
+	}
+	l.leaveOthers(false)
+	l.stopOperating()
+	l.state = l.encode(s)
 }
 
 func (l *life) reopen() {
@@ -565,6 +584,7 @@
 	l.emptied = false
 	l.front.Release(nil)
 	l.core.TakeBack()
+	l.together()
 	if l.waiting != nil {
 		l.waiting()
 	}
--- /dev/null
+++ b/internal/daemon/together.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"time"
+
+	"dunlinsail/internal/clock"
+	words "dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/peers"
+)
+
+// This file has a generation be one of its fleet's instances: what carries words, and who may ask about it.
+
+// join has the core decide together with the others, where the configuration says so.
+func (d *generation) join() error {
+	t := d.config.Together(d.o.Seed)
+	if t == nil {
+		return nil
+	}
+	t.Lives = rand.Uint64
+	t.Tell = func(to string, w words.Word) {
+		if p := d.peers.Load(); p != nil { // else it is one that has not begun, or has given its place away
+			p.Tell(to, w)
+		}
+	}
+	if path := d.config.Peers.SpentLog; path != "" {
+		var err error
+		if d.spent, err = openSpent(path); err != nil {
+			return fmt.Errorf("peers.spent: %w", err)
+		}
+		t.Spent = d.spent.note
+	}
+	return d.core.Join(*t)
+}
+
+// bindAgain is how often an address is asked for that the process before this one may still have.
+const bindAgain = 20 * time.Millisecond
+
+// joinOthers has the instance be among the others. It is for one that serves: no other process of its name is among them.
+func (d *generation) joinOthers() error {
+	c := &d.config.Peers
+	if !c.On || d.peers.Load() != nil {
+		return nil
+	}
+	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.Word}
+	var p *peers.Peers
+	var err error
+	for end := time.Now().Add(bindFor); ; time.Sleep(bindAgain) {
+		if p, err = peers.Start(o); err == nil || time.Now().After(end) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	d.peers.Store(p)
+	return nil
+}
+
+// leaveOthers ends that. With tell the others are told; without, another process takes its place.
+func (d *generation) leaveOthers(tell bool) {
+	p := d.peers.Swap(nil)
+	if p == nil {
+		return
+	}
+	if tell {
+		d.core.GiveFleet()
+	}
+	p.Close(tell)
+}
+
+// View is what an instance tells of its fleet.
+type View struct {
+	Name    string
+	Members []peers.Member
+	Fleet   words.View
+	Words   peers.Figures
+}
+
+// view returns it, as JSON.
+func (d *generation) view(ctx context.Context) ([]byte, error) {
+	p := d.peers.Load()
+	if p == nil {
+		return nil, fmt.Errorf("this instance is among no others: peers.on is false, or it does not serve")
+	}
+	v, _, err := d.core.FleetView(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("what is known is not to be had in time: %w", err)
+	}
+	return json.Marshal(View{d.config.Name, p.Members(), v, p.Figures()})
+}
+
+// spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in microseconds, which all its
+// processes read alike, and the budget.
+type spentLog struct {
+	lines chan string
+	ended chan struct{}
+	lost  bool
+}
+
+// spentWaiting is how many lines wait for a disk that is slow; beyond that some are missing, and one line says so.
+const spentWaiting = 1 << 14
+
+func openSpent(path string) (*spentLog, error) {
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	s := &spentLog{lines: make(chan string, spentWaiting), ended: make(chan struct{})}
+	go func() {
+		defer close(s.ended)
+		defer f.Close()
+		w := bufio.NewWriter(f)
+		for line := range s.lines {
+			w.WriteString(line)
+			if len(s.lines) == 0 {
+				w.Flush() // what a process that is killed has spent is to be known
+			}
+		}
+		w.Flush()
+	}()
+	return s, nil
+}
+
+// note notes a unit. It never waits.
+func (s *spentLog) note(_ engine.Micros, budget string) {
+	if s.lost && len(s.lines) < spentWaiting/2 {
+		s.lost = false
+		s.lines <- "# some are missing\n"
+	}
+	select {
+	case s.lines <- strconv.FormatInt(clock.Boot(), 10) + " " + budget + "\n":
+	default:
+		s.lost = true
+	}
+}
+
+func (s *spentLog) close() {
+	if s != nil {
+		close(s.lines)
+		<-s.ended
+	}
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -38,7 +38,9 @@
 	Figures func(ctx context.Context) (text []byte, err error)
 	// ByHand takes an endpoint out or lets it in again, and returns once that holds; ErrUnknown is of one that nobody has.
 	ByHand func(ctx context.Context, target string, out bool) error
-	Log    *slog.Logger
+	// Members returns what is known of the other instances, as JSON; nil is that nobody may ask here.
+	Members func(ctx context.Context) (text []byte, err error)
+	Log     *slog.Logger
 }
 
 // Serve answers calls until ln is closed.
@@ -82,6 +84,17 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		w.Write(text)
 	})
+	if d.Members != nil {
+		handle(http.MethodGet, "/members", func(ctx context.Context, w http.ResponseWriter, _ []byte) {
+			text, err := d.Members(ctx)
+			if err != nil {
+				say(w, http.StatusServiceUnavailable, "%v", err)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(text)
+		})
+	}
 	for path, out := range map[string]bool{"/endpoints/disable": true, "/endpoints/enable": false} {
 		handle(http.MethodPost, path, func(ctx context.Context, w http.ResponseWriter, body []byte) { d.byHand(ctx, w, body, out) })
 	}
