Play real processes that know of one another: cut, late and one-way words, takeovers, and all that they spent

Need: the bound on what instances spend together is to be seen in processes that are killed, stopped, cut off, flooded with late words and replaced, not only in simulated time; and demand that moves has to be followed within seconds.

A holder that no longer wants what it held is told by its rate within half a second, and one that uses what it holds is taken at its word; suspects' refusals no longer count against an endpoint here.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -805,22 +805,22 @@
 // allows draws the breaker's lot for a request; a refusal counts as a request.
 func (b *Balancer) allows(now Micros, r *request, e *endpoint) bool {
 	chance := max(e.br.errorChance(now), e.br.latencyChance(float64(b.class(r).GiveUp)))
-	every := Micros(forcedPass)
-	if told := e.toldOf(int(r.Class)); told > chance {
-		chance, every = told, b.trialEvery()
+	told, every := e.toldOf(int(r.Class)), Micros(forcedPass)
+	if told > chance {
+		every = b.trialEvery()
 	}
-	if chance <= 0 {
+	if max(chance, told) <= 0 {
 		return true
 	}
 	if now-e.br.passed > every {
 		e.br.passed = now
 		return true
 	}
-	if b.rng.float() < chance {
-		e.br.count(now, 0, 0)
-		return false
+	x := b.rng.float()
+	if x < chance {
+		e.br.count(now, 0, 0) // what others have seen counts for nothing that was met here
 	}
-	return true
+	return x >= max(chance, told)
 }
 
 // Suspect tells with what chance e is better left out for a class of requests, by what the other balancers
--- a/cmd/dunlinlab/main.go
+++ b/cmd/dunlinlab/main.go
@@ -41,6 +41,7 @@
 	Run       runCmd       `cmd:"" help:"Play a scenario and tell its figures."`
 	Compare   compareCmd   `cmd:"" help:"Play two variants on the same plans, and tell which is better."`
 	Faults    faultsCmd    `cmd:"" help:"Play scenarios by several real processes with faults between them, and judge what they claim."`
+	Words     wordsCmd     `cmd:"" help:"Play the words between instances in simulated time, and check each second of what they spend."`
 	Expect    expectCmd    `cmd:"" help:"Play scenarios with the shipped settings, and judge what they claim."`
 	Sweep     sweepCmd     `cmd:"" help:"Compare the values of one key or two."`
 	Search    searchCmd    `cmd:"" help:"Look for the plan at which a variant does worst, and make it small."`
--- /dev/null
+++ b/cmd/dunlinlab/words.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/model/talk"
+	"dunlinsail/internal/peers"
+)
+
+type wordsCmd struct {
+	Cases   []string      `arg:"" optional:"" help:"Hard cases by name, or 'random'; none is all and 50 drawn ones."`
+	Members int           `help:"Instances." default:"9"`
+	Units   float64       `help:"The budget, units a second." default:"200"`
+	Demand  float64       `help:"Times the budget that is wanted." default:"2"`
+	Seeds   int           `help:"So many seeds of each; of drawn ones, so many draws." default:"50"`
+	First   uint64        `help:"The first." default:"1"`
+	For     time.Duration `help:"How long a run is." default:"44s"`
+	Every   time.Duration `help:"From one question to the next; 0 is as shipped. Loans are at least four times as long."`
+	Plant   string        `help:"An error to plant, which must be found: two books, slow clocks, spends as it starts, more than said."`
+}
+
+// told is what the runs of one case come to.
+type told struct {
+	worst, beyond           int
+	use                     []float64
+	words, size, book, load float64
+}
+
+// Run plays the words between instances in simulated time, and checks each second of what they spend.
+func (c *wordsCmd) Run(ctx context.Context, w *out) error {
+	if c.Members < 1 || c.Seeds < 1 {
+		return fmt.Errorf("--members and --seeds must be positive")
+	}
+	cases := talk.Cases(c.Members)
+	names := c.Cases
+	if len(names) == 0 {
+		names = append(slices.Sorted(maps.Keys(cases)), "random")
+	}
+	for _, name := range names {
+		if _, known := cases[name]; !known && name != "random" {
+			return fmt.Errorf("there is no case %q; there are random, %s", name, strings.Join(slices.Sorted(maps.Keys(cases)), ", "))
+		}
+	}
+	table := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "CASE\tWORST SECOND, OF %.0f\tBEYOND\tUSED\tWORDS A SECOND AND INSTANCE\tBYTES\tTHE BOOK'S WORDS\tBYTES\n", c.Units)
+	beyond := 0
+	for _, name := range names {
+		t, err := c.play(ctx, name, cases[name])
+		if err != nil {
+			return err
+		}
+		beyond += t.beyond
+		slices.Sort(t.use)
+		n := float64(c.Seeds)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.2f to %.2f\t%.1f\t%.0f\t%.0f\t%.0f\n", name, t.worst, t.beyond, t.use[0], t.use[len(t.use)-1], t.words/n, t.size/n, t.book/n, t.load/n)
+	}
+	table.Flush()
+	switch {
+	case beyond > 0 && c.Plant != "":
+		fmt.Fprintln(w, "the planted error is found")
+	case beyond > 0:
+		return errFailed
+	case c.Plant != "":
+		fmt.Fprintln(w, "the planted error is not found")
+		return errFailed
+	}
+	return nil
+}
+
+func (c *wordsCmd) play(ctx context.Context, name string, faults []talk.Fault) (t told, err error) {
+	size := func(w fleet.Word) int {
+		text, err := peers.Encode("instance-100", "instance-100", w)
+		if err != nil {
+			panic(err) // of our own words
+		}
+		return len(text)
+	}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	seeds := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for seed := range seeds {
+				s := talk.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
+					Fleet: talk.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
+				if c.Every > 0 {
+					s.Fleet.Loans.Every = c.Every.Microseconds()
+					s.Fleet.Loans.Length = max(s.Fleet.Loans.Length, 8*s.Fleet.Loans.Every)
+					s.Fleet.Lease = max(s.Fleet.Lease, 4*s.Fleet.Loans.Every)
+				}
+				if c.Plant == "spends as it starts" {
+					s.Fleet.Loans.Ready = 1 // nothing lies idle where one is killed
+				}
+				if name == "random" {
+					s.Faults = talk.Random(seed, c.Members, s.Length)
+				}
+				r, failed := talk.Run(s)
+				mu.Lock()
+				if failed != nil {
+					err = failed
+				} else {
+					t.worst, t.beyond = max(t.worst, r.Worst), t.beyond+r.Breaches
+					t.use = append(t.use, r.Use)
+					t.words, t.size, t.book, t.load = t.words+r.Words, t.size+r.Bytes, t.book+r.BookOut, t.load+r.BookSize
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for seed := c.First; seed < c.First+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	all.Wait()
+	if ctx.Err() != nil {
+		return t, context.Cause(ctx)
+	}
+	return t, err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,8 @@
 	Upstream Upstream
 	Log      *slog.Logger
 	Observe  engine.Observer // nil is nobody
+
+	Spent func(now balancer.Micros, budget string) // as engine.Config has it
 }
 
 // Core runs an engine. Make one with New, give it pools, and run it. The engine belongs to the goroutine in Run; all
@@ -97,7 +99,7 @@
 // New returns a core without pools.
 func New(c Config) *Core {
 	x := &Core{config: c, events: make(chan func(balancer.Micros), 256), over: make(chan struct{}), isReady: make(chan struct{})}
-	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Sharing: c.Sharing, Host: (*host)(x), Observe: c.Observe})
+	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Sharing: c.Sharing, Host: (*host)(x), Observe: c.Observe, Spent: c.Spent})
 	return x
 }
 
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -58,7 +58,15 @@
 	n := &c.Connections
 	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
 		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers})
-	d.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log})
+	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log}
+	if path := c.Peers.SpentLog; path != "" {
+		var err error
+		if d.spent, err = openSpent(path); err != nil {
+			return nil, fmt.Errorf("peers.spent: %w", err)
+		}
+		conf.Spent = d.spent.note
+	}
+	d.core = core.New(conf)
 	if err := d.join(); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -30,13 +30,6 @@
 			p.Tell(to, w)
 		}
 	}
-	if path := d.config.Peers.SpentLog; path != "" {
-		var err error
-		if d.spent, err = openSpent(path); err != nil {
-			return fmt.Errorf("peers.spent: %w", err)
-		}
-		t.Spent = d.spent.note
-	}
 	return d.core.Join(*t)
 }
 
--- a/internal/decide/loans/divide.go
+++ b/internal/decide/loans/divide.go
@@ -11,8 +11,8 @@
 const silent = 3
 
 // divide decides anew what each holder is to have of each budget: by max-min over what they want (Bertsekas and Gallager,
-// "Data Networks", 6.5.2), in whole units. Where not all can have what they want, no holder counts for more than what it has
-// shown to use: one that asks for everything gets what fairness gives.
+// "Data Networks", 6.5.2), in whole units. Where not all can have what they want, a holder that does not use what it has
+// counts for no more than twice that: one that asks for everything gets what fairness gives.
 func (b *Book) divide(now Micros) {
 	b.dividedAt, b.stale = now, false
 	var heard []*borrower
@@ -60,8 +60,9 @@
 	}
 	if total > left {
 		for i, x := range heard {
-			shown := math.Max(fair, 2*x.wants[name].Used+float64(left)/evidence)
-			wants[i] = min(wants[i], int(math.Ceil(shown)))
+			if w := x.wants[name]; w.Used < spends*float64(w.Holds) {
+				wants[i] = min(wants[i], int(math.Ceil(math.Max(fair, 2*w.Used))))
+			}
 		}
 	}
 	// The least wants first: each gets what it wants as long as that is within an equal part of what is left.
@@ -91,8 +92,8 @@
 	}
 }
 
-// evidence is the part of a budget by which a holder may want more than twice what it uses.
-const evidence = 16
+// spends is the part of what it holds that a holder must use to be taken at its word that it wants more.
+const spends = 0.7
 
 // mix is a number that three others give, without order (SplitMix64).
 func mix(a, b, c uint64) uint64 {
--- a/internal/decide/loans/holder.go
+++ b/internal/decide/loans/holder.go
@@ -156,7 +156,7 @@
 		a.Of, a.OfTerm = h.of, h.ofTerm
 	}
 	for name, p := range h.pots {
-		w := Want{Budget: name, Asked: p.asked.rate(now), Used: p.used.rate(now), Earns: p.earned}
+		w := Want{Budget: name, Asked: p.asked.wanted(now), Used: p.used.rate(now), Earns: p.earned}
 		if a.Of != 0 {
 			w.Holds = p.lent
 		}
@@ -201,12 +201,17 @@
 // Lost forgets who the book is, so that all who could be it are asked.
 func (h *Holder) Lost() { h.term = lease.Term{} }
 
-// counter counts what came within the last second, by tenths.
+// counter counts what came within the last second, by tenths, and over some seconds.
 type counter struct {
 	parts [10]int
 	head  Micros
+	slow  float64 // what came, each counting less the longer it is ago
+	at    Micros
 }
 
+// slowly is over how long the slow mean goes.
+const slowly = 2 * second
+
 func (c *counter) slide(now Micros) {
 	part := now / (second / 10)
 	if part-c.head >= 10 {
@@ -222,22 +227,49 @@
 func (c *counter) add(now Micros) {
 	c.slide(now)
 	c.parts[c.head%10]++
+	c.decay(now)
+	c.slow++
+}
+
+func (c *counter) decay(now Micros) {
+	c.slow *= math.Exp(-float64(now-c.at) / float64(slowly))
+	c.at = now
+}
+
+// wanted is how many units a second are worth having: the mean of some seconds and what chance adds to that, since a second in which
+// fewer are asked for says nothing of the next; or the rate of late, where that is beyond chance.
+func (c *counter) wanted(now Micros) float64 {
+	c.decay(now)
+	mean := c.slow * float64(second) / float64(slowly)
+	fast := c.rate(now)
+	if fast > mean+3*math.Sqrt(mean)+1 {
+		return fast
+	}
+	for _, tenths := range [...]int{5, 10} {
+		of, late := mean*float64(tenths)/10, float64(c.latest(tenths))
+		if late < of-2*math.Sqrt(of)-1 {
+			mean = late * 10 / float64(tenths) // what was before is over
+			c.slow = mean * float64(slowly) / float64(second)
+			break
+		}
+	}
+	return mean + math.Sqrt(mean)
+}
+
+// latest is what came within so many of the latest tenths of a second, the present one included.
+func (c *counter) latest(tenths int) (all int) {
+	for i := range Micros(tenths) {
+		all += c.parts[(c.head-i+10)%10]
+	}
+	return all
 }
 
 // rate is what comes a second: by the last second, or by the last third of it where that had more, since what rises is wanted
 // before a second is over.
 func (c *counter) rate(now Micros) float64 {
 	c.slide(now)
-	all, late := 0, 0
-	for i := range Micros(10) {
-		n := c.parts[(c.head-i+10)%10]
-		all += n
-		if i < 3 {
-			late += n
-		}
-	}
 	part := float64(now%(second/10)) / float64(second/10) // of the present tenth that is over
-	return math.Max(float64(all), float64(late)/(0.2+0.1*part))
+	return math.Max(float64(c.latest(10)), float64(c.latest(3))/(0.2+0.1*part))
 }
 
 // ---- One process in another's place -----------------------------------------
--- a/internal/decide/loans/loans.go
+++ b/internal/decide/loans/loans.go
@@ -13,7 +13,7 @@
 // takes for used at an instant is at least what holders can have spent in the second that ends there. (3) It lends so much that
 // this, over all holders, is within the budget less all leasts. (4) There is one book at a time. A new one lends nothing but
 // what holders show it that they hold, until all that the one before can have lent is over; and it hears only questions that
-// were asked since it is the book (Ask.Term), so that what they show was not lent to others meanwhile. docs/design/shares.md
+// were asked since it is the book (Ask.Term), so that what they show was not lent to others meanwhile. docs/design/peers.md
 // has it at length.
 package loans
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -146,6 +146,8 @@
 	Sharing Sharing
 	Host    Host
 	Observe Observer // nil is nobody
+
+	Spent func(now Micros, budget string) // told of each unit that is spent of a budget of the fleet; nil is nobody. It must not wait
 }
 
 // Engine decides. Make one with New, and give it pools.
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -127,7 +127,7 @@
 // list counts if it is not older than its own.
 func (x *Engine) Restore(now, age Micros, s *Snapshot) (passedOver []string) {
 	x.now = now
-	x.restoreFleet(now, age, s.Fleet)
+	x.RestoreFleet(now, age, s.Fleet)
 	for _, w := range s.Words {
 		x.Hear(now, w)
 	}
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -14,9 +14,8 @@
 type Together struct {
 	Fleet fleet.Settings
 	Uses  Uses
-	Tell  func(to string, w fleet.Word)   // carries a word; must not wait, and must not call the engine
-	Lives func() uint64                   // a number at each call that no other process of the name ever had
-	Spent func(now Micros, budget string) // told of each unit that is spent of a budget; may be nil
+	Tell  func(to string, w fleet.Word) // carries a word; must not wait, and must not call the engine
+	Lives func() uint64                 // a number at each call that no other process of the name ever had
 }
 
 // Uses says what is decided with the others.
@@ -110,8 +109,8 @@
 	return s
 }
 
-// restoreFleet takes the place of another engine that left off so long ago.
-func (x *Engine) restoreFleet(now, age Micros, s *loans.State) {
+// RestoreFleet takes the place of another engine that left off so long ago.
+func (x *Engine) RestoreFleet(now, age Micros, s *loans.State) {
 	if t := x.together; t != nil && s != nil && !t.member.Begun() {
 		x.now = now
 		t.member.Restore(now, age, t.Lives(), s)
@@ -268,8 +267,8 @@
 	if !t.member.Take(now, budget) {
 		return false
 	}
-	if t.Spent != nil {
-		t.Spent(now, budget)
+	if f := x.config.Spent; f != nil {
+		f(now, budget)
 	}
 	return true
 }
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,8 @@
 
 	endpoints []*endpoint
 	instances []*instance
+	peers     []string // addresses at which instances know one another; none where they do not
+	relays    []*relay
 	groups    map[int]*group
 	reports   *rand.Rand // guarded by each endpoint's lock only: any draw will do
 
@@ -97,6 +100,7 @@
 	cmd    *exec.Cmd
 	ended  chan struct{} // closed once the process has
 	killed *atomic.Bool  // by us
+	former []former
 
 	thawed atomic.Int64 // microseconds of the run until which it was stopped last; in the future while it is
 
@@ -194,6 +198,9 @@
 			return nil, err
 		}
 	}
+	if err := r.together(); err != nil {
+		return nil, err
+	}
 	for i := range o.Plan.Instances {
 		in, err := r.newInstance(i)
 		if err != nil {
@@ -236,6 +243,12 @@
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
+	for _, in := range r.instances {
+		in.kill() // what they spent is whole then
+	}
+	if err := r.spent(); err != nil {
+		return nil, err
+	}
 	return r.result(worked), nil
 }
 
@@ -310,6 +323,9 @@
 			a.CloseIdleConnections()
 		}
 	}
+	for _, y := range r.relays {
+		y.close()
+	}
 	for _, e := range r.endpoints {
 		e.timer.Stop()
 		e.mu.Lock()
@@ -388,7 +404,7 @@
 }
 
 // news are the tables of a daemon's file that another version may not know.
-var news = []string{"overload"}
+var news = []string{"overload", "peers", "operators"}
 
 // file is an instance's file: the settings', with what differs between instances and what is of this run.
 func (r *run) file(in *instance) ([]byte, error) {
@@ -404,6 +420,9 @@
 	doc["name"] = fmt.Sprint("instance-", in.n)
 	doc["discovery"] = map[string]any{"address": in.roster.Addr, "mode": r.own.Discovery.Mode}
 	delete(doc, "takeover")
+	if r.upgrades() {
+		doc["takeover"] = map[string]any{"socket": filepath.Join(r.dir, fmt.Sprint("takeover-", in.n))}
+	}
 	delete(doc, "record")
 	delete(doc, "others")
 	fleet, _ := doc["fleet"].(map[string]any)
@@ -412,6 +431,17 @@
 	}
 	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances), in.n, r.plan.Fleet.Zones[r.plan.Instances[in.n].Zone]
 	doc["fleet"] = fleet
+	if table, ok := doc["peers"].(map[string]any); ok && len(r.peers) > 0 {
+		doc["peers"] = r.peersTable(in, table)
+	}
+	if r.limits() {
+		table, _ := doc["peers"].(map[string]any)
+		if table == nil {
+			table = map[string]any{}
+			doc["peers"] = table
+		}
+		table["spent"] = r.spentPath(in.n)
+	}
 	bounds := map[string]any{}
 	if len(r.own.Clients) > 0 {
 		b := &r.own.Clients[0].Bounds
@@ -465,7 +495,7 @@
 	return nil
 }
 
-// kill ends an instance's process without a word, and waits until it is gone.
+// kill ends an instance's process without a word, and waits until it is gone. One that is being replaced is ended with it.
 func (in *instance) kill() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -475,6 +505,37 @@
 	in.killed.Store(true)
 	in.cmd.Process.Kill()
 	<-in.ended
+	for _, p := range in.former {
+		p.cmd.Process.Kill()
+		<-p.ended
+	}
+	in.former = nil
+}
+
+// former is a process whose place another takes.
+type former struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// upgrade starts another process of an instance, which takes over from the one that serves. That ends by itself then.
+func (r *run) upgrade(in *instance) {
+	in.mu.Lock()
+	if in.killed.Load() {
+		in.mu.Unlock()
+		return
+	}
+	in.killed.Store(true) // its end is no fault
+	in.former = append(in.former, former{in.cmd, in.ended})
+	in.mu.Unlock()
+	if err := r.launch(in); err != nil {
+		r.fail(err)
+	}
+}
+
+// upgrades says whether processes take over from others in this run.
+func (r *run) upgrades() bool {
+	return slices.ContainsFunc(r.plan.Happenings, func(h scenario.Happening) bool { return h.What == "upgrade" })
 }
 
 // freeze stops instances (SIGSTOP): they keep what they hold, and do nothing.
@@ -921,6 +982,12 @@
 			} else {
 				r.at(ctx, beside, h.At+1_000_000, back)
 			}
+		case "upgrade":
+			r.at(ctx, beside, h.At, func() {
+				for _, n := range h.Instances {
+					r.upgrade(r.instances[n])
+				}
+			})
 		case "freeze":
 			for at := h.At; at < min(h.Until, end); at += 2 * h.Every {
 				until, _ := h.Frozen(at)
--- /dev/null
+++ b/internal/lab/live/words.go
@@ -0,0 +1,248 @@
+package live
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/model"
+	"dunlinsail/internal/standin/port"
+)
+
+// This file has the daemons know of one another: an address for each, a relay on each way between two of them where something
+// goes wrong on those, and what all of them spent of the fleet's budgets, joined.
+
+// relay is the way from one instance to another: what is sent to it goes on to that, unless the plan has nothing pass.
+type relay struct {
+	run      *run
+	from, to int
+	addr     string // where the one finds the other
+	at       string // and where that is
+	udp      net.PacketConn
+	tcp      net.Listener
+	done     sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func (r *run) newRelay(from, to int) (*relay, error) {
+	addr, err := port.Free()
+	if err != nil {
+		return nil, err
+	}
+	y := &relay{run: r, from: from, to: to, addr: addr, at: r.peers[to], conns: map[net.Conn]struct{}{}}
+	if y.tcp, err = net.Listen("tcp", addr); err != nil {
+		return nil, err
+	}
+	if y.udp, err = net.ListenPacket("udp", addr); err != nil {
+		y.tcp.Close()
+		return nil, err
+	}
+	y.done.Go(y.packets)
+	y.done.Go(y.streams)
+	return y, nil
+}
+
+// passes says whether anything gets from the one to the other now.
+func (y *relay) passes() bool {
+	p := y.run.plan
+	return !p.Parts(y.run.now(), y.from, y.to) && !y.run.cut(p.Instances[y.from].Zone, p.Instances[y.to].Zone)
+}
+
+func (y *relay) packets() {
+	out, err := net.Dial("udp", y.at)
+	if err != nil {
+		y.run.fail(err)
+		return
+	}
+	defer out.Close()
+	b := make([]byte, 64<<10)
+	for {
+		n, _, err := y.udp.ReadFrom(b)
+		if err != nil {
+			return
+		}
+		if !y.passes() {
+			continue
+		}
+		more, twice := y.run.plan.Late(y.run.now(), y.from, [3]float64{rand.Float64(), rand.Float64(), rand.Float64()})
+		if more == 0 && !twice {
+			out.Write(b[:n]) // that nobody listens there is as if it were lost
+			continue
+		}
+		text := bytes.Clone(b[:n])
+		y.later(more, func() { out.Write(text) })
+		if twice {
+			y.later(Micros(rand.Float64()*float64(more)), func() { out.Write(text) })
+		}
+	}
+}
+
+func (y *relay) streams() {
+	for {
+		c, err := y.tcp.Accept()
+		if err != nil {
+			return
+		}
+		y.done.Go(func() { y.stream(c) })
+	}
+}
+
+// later does something after a while, unless the run is over by then.
+func (y *relay) later(after Micros, do func()) {
+	time.AfterFunc(time.Duration(after)*time.Microsecond, do)
+}
+
+// stream takes a connection on. Where nothing passes it hears nothing, as its caller would on a way that is cut.
+func (y *relay) stream(c net.Conn) {
+	y.keep(c)
+	defer y.drop(c)
+	if !y.passes() {
+		io.Copy(io.Discard, c)
+		return
+	}
+	to, err := net.DialTimeout("tcp", y.at, time.Second)
+	if err != nil {
+		return
+	}
+	y.keep(to)
+	defer y.drop(to)
+	var both sync.WaitGroup
+	both.Go(func() { y.copy(to, c) })
+	both.Go(func() { y.copy(c, to) })
+	both.Wait()
+}
+
+func (y *relay) copy(to, from net.Conn) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && y.passes() {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			to.(*net.TCPConn).CloseWrite()
+			return
+		}
+	}
+}
+
+func (y *relay) keep(c net.Conn) {
+	y.mu.Lock()
+	y.conns[c] = struct{}{}
+	y.mu.Unlock()
+}
+
+func (y *relay) drop(c net.Conn) {
+	c.Close()
+	y.mu.Lock()
+	delete(y.conns, c)
+	y.mu.Unlock()
+}
+
+func (y *relay) close() {
+	y.udp.Close()
+	y.tcp.Close()
+	y.mu.Lock()
+	for c := range y.conns {
+		c.Close()
+	}
+	y.mu.Unlock()
+	y.done.Wait()
+}
+
+// together makes the addresses of instances that know of one another, and the relays between them.
+func (r *run) together() error {
+	if !r.own.Peers.On || isSidecar(r.o.Daemon) {
+		return nil
+	}
+	for range r.plan.Instances {
+		addr, err := port.Free()
+		if err != nil {
+			return err
+		}
+		r.peers = append(r.peers, addr)
+	}
+	parted := false
+	for i := range r.plan.Happenings {
+		what := r.plan.Happenings[i].What
+		parted = parted || what == "part" || what == "cut" || what == "late-words"
+	}
+	for i := range r.plan.Instances {
+		for j := range r.plan.Instances {
+			if parted && i != j {
+				y, err := r.newRelay(i, j)
+				if err != nil {
+					return err
+				}
+				r.relays = append(r.relays, y)
+			}
+		}
+	}
+	return nil
+}
+
+// peersTable is an instance's, of its file.
+func (r *run) peersTable(in *instance, of map[string]any) map[string]any {
+	lenders := model.Lenders(r.own.Peers.Lenders, len(r.plan.Instances))
+	var join, ways []any
+	for i, addr := range r.peers {
+		if i != in.n && i < len(lenders) {
+			join = append(join, addr)
+		}
+	}
+	for _, y := range r.relays {
+		if y.from == in.n {
+			ways = append(ways, r.peers[y.to]+"="+y.addr)
+		}
+	}
+	of["lenders"] = lenders
+	of["address"], of["join"], of["ways"] = r.peers[in.n], join, ways
+	return of
+}
+
+// limits says whether tenants have limits that daemons hold.
+func (r *run) limits() bool {
+	return !isSidecar(r.o.Daemon) && slices.ContainsFunc(r.own.Tenants, func(t config.Tenant) bool { return t.Limit > 0 })
+}
+
+func (r *run) spentPath(n int) string { return filepath.Join(r.dir, fmt.Sprintf("spent-%d", n)) }
+
+// spent takes in what all processes spent, by the host's clock that they all read.
+func (r *run) spent() error {
+	if len(r.peers) == 0 && !r.limits() {
+		return nil
+	}
+	zero := clock.Boot() - r.now()
+	for n := range r.instances {
+		f, err := os.Open(r.spentPath(n))
+		if err != nil {
+			return err
+		}
+		for lines := bufio.NewScanner(f); lines.Scan(); {
+			at, budget, ok := strings.Cut(lines.Text(), " ")
+			v, err := strconv.ParseInt(at, 10, 64)
+			if !ok || err != nil {
+				continue // cut off by a kill
+			}
+			r.meter.Spent(v-zero, budget)
+		}
+		f.Close()
+	}
+	return nil
+}
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -82,6 +82,12 @@
 				r.queue.push(r.now+second, evBack, 0, r.instances[n])
 			}
 		}
+	case "upgrade":
+		for _, n := range h.Instances {
+			if in := r.instances[n]; !in.down {
+				in.replaced()
+			}
+		}
 	case "freeze":
 		r.step(i, 0)
 	case "deaf":
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -89,7 +89,8 @@
 // create makes the engine and what is around it, without a list.
 func (in *instance) create() error {
 	r := in.run
-	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.life), Sharing: r.settings.Sharing, Host: in})
+	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.life), Sharing: r.settings.Sharing, Host: in,
+		Spent: func(_ Micros, budget string) { r.meter.Spent(r.now, budget) }})
 	if err := in.join(); err != nil {
 		return err
 	}
--- a/internal/model/measure/faults_test.go
+++ b/internal/model/measure/faults_test.go
@@ -76,3 +76,18 @@
 	near("probes_first", arrived["probes_first"], 0.015)
 	near("dials_peak", arrived["dials_peak"], 30)
 }
+
+// What is spent is counted in any second, over all who tell of it, in whatever order they do.
+func TestSpent(t *testing.T) {
+	m := New(Judge{Tenants: []balancer.Tenant{{Name: "t"}}, Limits: map[string]float64{"t": 3}}, 10*second, 1)
+	for _, at := range []Micros{900, 1500, 2100, 5000, 1901, 5999, 6000} { // by several, one after another
+		m.Spent(at*1000, "tenant/t")
+	}
+	if f := m.Result().Figures; f["over_budget"] != 1 || f["beyond_limit"] != 0 {
+		t.Errorf("%v, beyond %v", f["over_budget"], f["beyond_limit"])
+	}
+	m.Spent(1899*1000, "tenant/t") // the fourth within a second
+	if f := m.Result().Figures; f["over_budget"] != 4.0/3 || f["beyond_limit"] != 1 {
+		t.Errorf("%v, beyond %v", f["over_budget"], f["beyond_limit"])
+	}
+}
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -488,6 +488,7 @@
 	{"of_could", "worth served within the aim, of what the endpoints' work could have served at best", "", 1, 0.01, false},
 	{"out_of_order", "work not served while such of less worth for its work was, in the same second, of all work", "", -1, 0.01, false},
 	{"over_budget", "requests let in of a tenant that has a limit over all instances, in its worst second, of the limit", "", -1, 0.01, false},
+	{"beyond_limit", "requests of a tenant let in beyond its limit over all instances, in any second", "", -1, 0, true},
 	{"budget_use", "of the tenants' limits, what was let in, in seconds in which a fifth more was asked for", "", 1, 0.01, false},
 	{"words", "words between instances, a story", "a story", -1, 0.02, false},
 	{"breaks", "rules broken", "", -1, 0, true},
--- a/internal/model/measure/spent.go
+++ b/internal/model/measure/spent.go
@@ -16,7 +16,7 @@
 // figures adds what the worst second of any tenant's limit comes to, and what part of the limits was used in the
 // seconds in which more was asked for. Of budgets that grow with what is accepted the endpoints' figures tell.
 func (s spending) figures(f map[string]float64, j *Judge, asked map[int][]int) {
-	f["over_budget"], f["budget_use"] = 0, 1
+	f["over_budget"], f["beyond_limit"], f["budget_use"] = 0, 0, 1
 	var could, used float64
 	for i, t := range j.Tenants {
 		at := s["tenant/"+t.Name]
@@ -25,7 +25,9 @@
 			continue
 		}
 		slices.Sort(at) // processes tell of theirs one after another
-		f["over_budget"] = max(f["over_budget"], float64(Worst(at))/limit)
+		worst, beyond := Worst(at, limit)
+		f["over_budget"] = max(f["over_budget"], float64(worst)/limit)
+		f["beyond_limit"] += float64(beyond)
 		each := make([]float64, len(asked[i]))
 		for _, v := range at {
 			if n := v / second; n >= 0 && n < Micros(len(each)) {
@@ -47,14 +49,18 @@
 // useFrom is how many times its limit a tenant must ask for in a second for all of it to be wanted.
 const useFrom = 1.2
 
-// Worst returns how many of instants in order lie within any second.
-func Worst(at []Micros) (worst int) {
+// Worst returns how many of instants in order lie within any second, and how many of them came beyond a limit of a second.
+func Worst(at []Micros, limit float64) (worst, beyond int) {
 	from := 0
 	for i, v := range at {
 		for at[from] <= v-second {
 			from++
 		}
-		worst = max(worst, i-from+1)
+		n := i - from + 1
+		worst = max(worst, n)
+		if float64(n) > limit {
+			beyond++
+		}
 	}
-	return worst
+	return worst, beyond
 }
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -63,6 +63,7 @@
 	Every     Micros
 	Delay     Micros
 	Instances []int // of what happens to instances, or on their ways
+	Others    []int // part: the other side; nil is all others
 	Way       string
 }
 
@@ -92,6 +93,9 @@
 			continue
 		}
 		a, b := has(h.Instances, from), has(h.Instances, to)
+		if h.Others != nil && !has(h.Others, from) && !has(h.Others, to) {
+			continue
+		}
 		if a != b && (h.Way == "" || (h.Way == "to") == b) {
 			return true
 		}
@@ -99,6 +103,28 @@
 	return false
 }
 
+// Late is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
+// of the word's own.
+func (p *Plan) Late(now Micros, from int, lots [3]float64) (more Micros, twice bool) {
+	for i := range p.Happenings {
+		h := &p.Happenings[i]
+		if h.What == "late-words" && now >= h.At && now < h.Until && has(h.Instances, from) {
+			if lots[0] < 0.5 {
+				more += Micros(lots[1] * float64(h.Delay))
+			}
+			twice = twice || lots[2] < 0.1
+		}
+	}
+	return more, twice
+}
+
+// sorted returns numbers in order; nil where there are none.
+func sorted(list []int) []int {
+	list = slices.Clone(list)
+	slices.Sort(list)
+	return list
+}
+
 // Lag is by how much longer each message between an instance and an endpoint takes at an instant.
 func (p *Plan) Lag(now Micros, instance, node int) (more Micros) {
 	for i := range p.Happenings {
@@ -244,6 +270,9 @@
 			from = append(from, i)
 		}
 	}
+	if len(e.Named) > 0 {
+		return slices.DeleteFunc(sorted(e.Named), func(n int) bool { return n >= len(p.Instances) })
+	}
 	n := len(from)
 	if len(e.Instances) > 0 {
 		n = int(math.Round(lots.Range(r, e.Instances.ends(1)) * float64(n)))
@@ -285,7 +314,7 @@
 		} else {
 			h.Sizes = []float64{lots.Range(r, e.Size.ends(0))}
 		}
-		h.Way = e.Way
+		h.Way, h.Others = e.Way, sorted(e.Others)
 		h.Instances = p.chooseInstances(e, stream.For(uint64(i), 1))
 		p.Happenings = append(p.Happenings, h)
 	}
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -171,12 +171,14 @@
 	Tenant string          `toml:"tenant,omitempty"` // surge: of this tenant only
 	One    bool            `toml:"one,omitempty"`    // surge: of one client process at each instance only
 	Every  strict.Duration `toml:"every,omitempty"`  // neighbour, part: on and off; rolling: one after another
-	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, stale, lag
+	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, late-words, stale, lag
 	To     string          `toml:"to,omitempty"`     // cut: the other zone; none is all
 
 	// Which instances, of what happens to instances or on their ways: a part of those of the zone, all without it.
 	Instances Range  `toml:"instances,omitempty"`
-	Way       string `toml:"way,omitempty"` // sever: "to" the endpoints, "from" them; part: the instances; both without it
+	Named     []int  `toml:"named,omitempty"`  // or these, by number
+	Others    []int  `toml:"others,omitempty"` // part: from these only
+	Way       string `toml:"way,omitempty"`    // sever: "to" the endpoints, "from" them; part: the instances; both without it
 }
 
 // Range is one number, or two between which one is drawn.
@@ -247,6 +249,8 @@
 	"restart":      {false, ""}, // instances are killed and begin anew, with what they had open lost
 	"freeze":       {false, ""}, // instances are stopped, and go on at its end with what they held
 	"deaf":         {false, ""}, // instances hear nothing of discovery, and all of it at its end
+	"late-words":   {false, ""}, // of what instances say every other word is late by up to delay, and one in ten comes twice
+	"upgrade":      {false, ""}, // another process takes over from an instance's while it serves
 	"part":         {false, ""}, // no word passes between instances and the others; every: on and off
 	"power":        {false, ""}, // all endpoints and instances begin anew at once
 }
@@ -496,16 +500,22 @@
 		return
 	}
 	k.That(e.At != nil, at("at"), "is missing")
-	k.That((e.Delay != nil) == (e.What == "late-reports" || e.What == "stale" || e.What == "lag"), at("delay"), "is for late-reports, stale and lag, and needed there")
+	k.That((e.Delay != nil) == (e.What == "late-reports" || e.What == "late-words" || e.What == "stale" || e.What == "lag"), at("delay"), "is for late-reports, late-words, stale and lag, and needed there")
 	k.That(e.At == nil || e.At.From < s.Length.Duration, at("at"), "it is after the end, %v", s.Length)
 	k.That(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at("zone"), "%q is none of fleet.zones", e.Zone)
 	k.That(e.To == "" || slices.Contains(s.Fleet.Zones, e.To), at("to"), "%q is none of fleet.zones", e.To)
 	k.That(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
 	k.That(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
 	k.That(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
-	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part"
+	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade"
 	k.That(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
 	checkRange(k, at("instances"), e.Instances, 0, 1)
+	k.That(ofInstances || len(e.Named) == 0, at("named"), "%q does not happen to instances", e.What)
+	k.That(len(e.Named) == 0 || len(e.Instances) == 0, at("named"), "either named or instances")
+	k.That(len(e.Others) == 0 || e.What == "part", at("others"), "is for part only")
+	for _, n := range append(slices.Clone(e.Named), e.Others...) {
+		k.That(n >= 0, at("named"), "%d is negative", n)
+	}
 	strict.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
 	k.That(e.Way == "" || e.What == "sever" || e.What == "part", at("way"), "is for sever and part only")
 	k.That(kind.nodes || e.Kind == "", at("kind"), "%q does not happen to endpoints", e.What)
--- a/internal/model/talk/talk.go
+++ b/internal/model/talk/talk.go
@@ -36,7 +36,7 @@
 
 // Shipped are the settings that hold where operators say no more (package config).
 func Shipped() fleet.Settings {
-	return fleet.Settings{Lease: 2 * second, Loans: loans.Settings{Ready: 0.1, Length: 3 * second, Every: second / 4, Drift: 0.005}}
+	return fleet.Settings{Lease: second, Loans: loans.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
 }
 
 // Fault is something that goes wrong.
--- a/internal/model/words.go
+++ b/internal/model/words.go
@@ -13,6 +13,12 @@
 // instanceName is how instances call one another, and how a file names those that lend.
 func instanceName(n int) string { return fmt.Sprint("instance-", n) }
 
+// Lenders returns of those that a file names as many as there are in a run of so many instances, an odd number.
+func Lenders(names []string, instances int) []string {
+	n := min(len(names), instances)
+	return names[:max(0, n-1+n%2)]
+}
+
 // word is on its way from one instance to another.
 type word struct {
 	from, to *instance
@@ -26,6 +32,7 @@
 		return nil
 	}
 	t := *in.run.settings.Together
+	t.Fleet.Lenders = Lenders(t.Fleet.Lenders, len(in.run.plan.Instances))
 	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Loans.Most = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
 	lives := uint64(in.life) << 8
 	t.Lives = func() uint64 {
@@ -33,7 +40,6 @@
 		return lives
 	}
 	t.Tell = in.tellWord
-	t.Spent = func(now Micros, budget string) { in.run.meter.Spent(in.run.now, budget) }
 	return in.engine.Join(t)
 }
 
@@ -47,7 +53,24 @@
 	}
 	r.words++
 	r.meter.Costs.Words++
-	r.queue.push(r.now+r.network.between(in.zone, r.plan.Instances[n].Zone, r.words, uint64(in.n), 9), evWord, 0, &word{in, r.instances[n], r.instances[n].life, w})
+	lots := r.luck.For(^r.words, uint64(in.n))
+	more, twice := r.plan.Late(r.now, in.n, [3]float64{lots.Float64(), lots.Float64(), lots.Float64()})
+	at := r.now + r.network.between(in.zone, r.plan.Instances[n].Zone, r.words, uint64(in.n), 9)
+	out := &word{in, r.instances[n], r.instances[n].life, w}
+	r.queue.push(at+more, evWord, 0, out)
+	if twice {
+		r.queue.push(at+Micros(lots.Float64()*float64(more)), evWord, 0, out)
+	}
+}
+
+// replaced has another process take over from the instance's while it serves. Of that only the place among the others is played:
+// it is given away, and begun anew with what was given.
+func (in *instance) replaced() {
+	now := in.local()
+	if s := in.engine.GiveFleet(now); s != nil {
+		in.engine.RestoreFleet(now, 0, s)
+	}
+	in.settle()
 }
 
 // arrive hands a word over, unless nothing passes or its instance has begun anew.
