Lie, and change limits, among real processes; two fleets on one machine; grants held against a lock

Need: hard cases that were played in simulated time only: one that claims a million times what it wants, half of the files with other limits, two fleets whose files name each other.

Change: events liar and limits, by processes and in the model; a test that starts two fleets of two daemons, kills one, and asks `dunlinsaild members`; the lease's terms are checked as operations on a lock by anishathalye/porcupine.

--- /dev/null
+++ b/cmd/dunlinsaild/members_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/standin/roster"
+)
+
+// one is a daemon's process.
+type one struct {
+	cmd            *exec.Cmd
+	peers, ask, at string
+}
+
+// Two fleets on one machine whose files name each other's addresses do not mix: each lends by itself, and what one's instances may
+// let in is no part of the other's. A member that is killed is seen to be gone, and members tells all of it.
+func TestFleets(t *testing.T) {
+	e, err := endpoint.Start(endpoint.Options{Name: "s-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	r, err := roster.Start(board.Up("s-1", e.Addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	all := map[string]*one{}
+	var join []string
+	names := []string{"a", "b", "c", "d"}
+	for _, name := range names {
+		all[name] = &one{peers: peer.Nowhere(t), ask: peer.Nowhere(t), at: peer.Nowhere(t)}
+		join = append(join, fmt.Sprintf("%q", all[name].peers))
+	}
+	for i, name := range names {
+		o, lender := all[name], names[i/2*2]
+		text := strings.Replace(file(t, r.Addr, t.TempDir()), "[discovery]", fmt.Sprintf(`[peers]
+on = true
+fleet = "fleet-%d"
+address = %q
+join = [%s]
+lenders = [%q]
+lends = ["tenants", "suspects"]
+[operators]
+address = %q
+[fleet]
+instances = 2
+[[tenant]]
+name = "t"
+limit = 40.0
+[discovery]`, i/2, o.peers, strings.Join(join, ", "), lender, o.ask), 1)
+		at := strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0]
+		o.at = at
+		text = "name = \"" + name + "\"\n" + text
+		o.cmd = program("--config", write(t, text), "--announce")
+		out, err := o.cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := o.cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			o.cmd.Process.Kill()
+			o.cmd.Wait()
+		}()
+		if line, err := bufio.NewReader(out).ReadString('\n'); err != nil || line != "serving\n" {
+			t.Fatalf("%s: %q, %v", name, line, err)
+		}
+	}
+	view := func(name string) (v daemon.View) {
+		code, out, errs := ends(t, "members", "--at", all[name].ask, "--json")
+		if code != 0 || json.Unmarshal([]byte(out), &v) != nil {
+			t.Fatalf("members of %s: %d %q %q", name, code, out, errs)
+		}
+		return v
+	}
+	alive := func(name string) (s string) {
+		for _, m := range view(name).Members {
+			if m.Alive {
+				s += m.Name
+			}
+		}
+		return s
+	}
+	for i, name := range names {
+		lender := names[i/2*2]
+		peer.Eventually(t, name+" is lent nothing", func() bool {
+			v := view(name)
+			return v.Fleet.Book == lender && v.Fleet.Loan > 0 && len(v.Fleet.Shares) == 1 && v.Fleet.Shares[0].Allowed > 2
+		})
+		if s := alive(name); s != "ab" && s != "cd" || !strings.Contains(s, name) {
+			t.Errorf("%s sees %q", name, s)
+		}
+	}
+	if code, out, _ := ends(t, "members", "--at", all["a"].ask); code != 0 || !strings.Contains(out, "a lends") || !strings.Contains(out, "tenant/t") || !strings.Contains(out, "It has lent") {
+		t.Errorf("%d %q", code, out)
+	}
+	// All ask for far more than the limits at once: each fleet lets in what it may, and says when to return of the rest.
+	let := map[int]int{}
+	for i, name := range names {
+		for k := range 60 {
+			q, _ := http.NewRequest(http.MethodGet, "http://"+all[name].at+"/look/x", nil)
+			q.Header.Set("X-Trace-Id", fmt.Sprintf("%s-%d", name, k))
+			q.Header.Set("X-Customer", "t")
+			resp, err := http.DefaultClient.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			switch {
+			case resp.StatusCode == http.StatusOK:
+				let[i/2]++
+			case resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "":
+				t.Fatalf("%d %v", resp.StatusCode, resp.Header)
+			}
+		}
+	}
+	for i := range 2 {
+		if let[i] < 10 {
+			t.Errorf("fleet %d lets in %d", i, let[i])
+		}
+	}
+	if resp, err := http.Get("http://" + all["b"].ask + "/metrics"); err != nil {
+		t.Error(err)
+	} else {
+		lines := bufio.NewScanner(resp.Body)
+		found := false
+		for lines.Scan() {
+			found = found || lines.Text() == "peers_lent=1"
+		}
+		resp.Body.Close()
+		if !found {
+			t.Error("its figures do not say that it has a loan")
+		}
+	}
+	all["b"].cmd.Process.Kill()
+	peer.Eventually(t, "nobody sees that b is gone", func() bool { return alive("a") == "a" })
+	if code, _, errs := ends(t, "members", "--at", peer.Nowhere(t)); code != 1 || errs == "" {
+		t.Errorf("nobody there: %d %q", code, errs)
+	}
+}
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 )
 
@@ -28,6 +29,8 @@
 	late   float64
 
 	held  int // holder found last, -1 for none
+	ops   []porcupine.Operation
+	holds []Term // of each voter, as found last
 	terms map[Term]bool
 	spans int
 }
@@ -43,6 +46,7 @@
 	for i := range n {
 		w.names = append(w.names, fmt.Sprint("v", i))
 	}
+	w.holds = make([]Term, n)
 	w.voters, w.rates, w.starts, w.asleep = make([]*Voter, n), make([]float64, n), make([]float64, n), make([]float64, n)
 	for i := range n {
 		w.start(i)
@@ -53,6 +57,10 @@
 // start starts a process anew, with a clock of its own.
 func (w *world) start(i int) {
 	w.lives++
+	if was := w.holds[i]; was != (Term{}) { // a process that is killed holds nothing any more
+		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{was, false}, Call: int64(w.now), Return: int64(w.now)})
+		w.holds[i] = Term{}
+	}
 	w.rates[i] = 1 + w.drift*(2*w.rng.Float64()-1)
 	w.starts[i], w.asleep[i] = w.now-1e6*w.rng.Float64(), 0
 	v, err := New(w.clock(i), Settings{Self: w.names[i], Life: w.lives, Voters: w.names, Length: length, Drift: w.drift, Seed: w.lives})
@@ -100,6 +108,7 @@
 			v.Tick(w.clock(i))
 			w.send(i)
 		}
+		w.note(i, v)
 		if t, _, yes := v.Holds(w.clock(i)); yes { // one that is stopped holds it, too: it may wake
 			holders++
 			if !w.terms[t] {
@@ -118,6 +127,44 @@
 	return nil
 }
 
+// input is what a voter did to the lease: won it, or lost it.
+type input struct {
+	who Term
+	won bool
+}
+
+// note notes when a voter wins and loses the lease, as operations on a lock: winning takes from the question to the votes.
+func (w *world) note(i int, v *Voter) {
+	t, _, yes := v.Holds(w.clock(i))
+	if !yes {
+		t = Term{}
+	}
+	was := w.holds[i]
+	if was == t {
+		return
+	}
+	if was != (Term{}) {
+		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{was, false}, Call: int64(w.now), Output: nil, Return: int64(w.now)})
+	}
+	if t != (Term{}) {
+		asked := float64(v.askedAt)/w.rates[i] + w.starts[i]
+		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{t, true}, Call: int64(asked), Output: nil, Return: int64(w.now)})
+	}
+	w.holds[i] = t
+}
+
+// lock is a lock that is taken and let go.
+var lock = porcupine.Model{
+	Init: func() any { return Term{} },
+	Step: func(state, in, _ any) (bool, any) {
+		if op := in.(input); op.won {
+			return state == Term{}, op.who
+		} else {
+			return state == op.who, Term{}
+		}
+	},
+}
+
 func (w *world) run(t interface{ Fatal(...any) }, d float64) {
 	for end := w.now + d; w.now < end; {
 		if err := w.step(2000); err != nil {
@@ -162,6 +209,9 @@
 		if w.spans != terms {
 			r.Fatal("it changed hands without a cause")
 		}
+		if !porcupine.CheckOperations(lock, w.ops) {
+			r.Fatalf("its holders are not those of a lock: %+v", w.ops)
+		}
 	})
 }
 
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -325,6 +325,17 @@
 	}
 }
 
+// Limits gives tenants other limits, by their places; those that have none go on to have none.
+func (x *Engine) Limits(limits []float64) {
+	if t := x.together; t != nil {
+		for i, budget := range t.tenants {
+			if budget != "" && i < len(limits) {
+				t.member.Budget(budget, limits[i], false)
+			}
+		}
+	}
+}
+
 // limited answers a request that is beyond what its tenant may have over all instances in a second, and says whether it is.
 func (p *Pool) limited(now Micros, c *Call) bool {
 	x := p.engine
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -429,7 +429,7 @@
 	if fleet == nil {
 		fleet = map[string]any{}
 	}
-	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances), in.n, r.plan.Fleet.Zones[r.plan.Instances[in.n].Zone]
+	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances)+r.liars(), in.n, r.plan.Fleet.Zones[r.plan.Instances[in.n].Zone]
 	doc["fleet"] = fleet
 	if table, ok := doc["peers"].(map[string]any); ok && len(r.peers) > 0 {
 		doc["peers"] = r.peersTable(in, table)
@@ -982,6 +982,18 @@
 			} else {
 				r.at(ctx, beside, h.At+1_000_000, back)
 			}
+		case "liar":
+			r.at(ctx, beside, h.At, func() {
+				stop, err := r.lie(h.Sizes[0])
+				if err != nil {
+					r.fail(err)
+					return
+				}
+				r.at(ctx, beside, min(h.Until, end), stop)
+			})
+		case "limits":
+			r.at(ctx, beside, h.At, func() { r.relimit(h.Instances, h.Sizes[0]) })
+			over(func() { r.relimit(h.Instances, 1) })
 		case "upgrade":
 			r.at(ctx, beside, h.At, func() {
 				for _, n := range h.Instances {
--- a/internal/lab/live/words.go
+++ b/internal/lab/live/words.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -13,11 +15,16 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/model"
+	"dunlinsail/internal/peers"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -246,3 +253,104 @@
 	}
 	return nil
 }
+
+// liars is how many instances that serve nobody this run has beside its own.
+func (r *run) liars() (n int) {
+	for i := range r.plan.Happenings {
+		n += map[bool]int{true: 1}[r.plan.Happenings[i].What == "liar"]
+	}
+	return n
+}
+
+// lie has one more instance be among the others, which says that it wants so many times what nobody asks it for, until stop.
+func (r *run) lie(times float64) (stop func(), err error) {
+	t := r.own.Together(1)
+	if t == nil {
+		return nil, errors.New("a liar needs instances that know of one another")
+	}
+	addr, err := port.Free()
+	if err != nil {
+		return nil, err
+	}
+	f := t.Fleet
+	f.Self, f.Lenders, f.Loans.Most = fmt.Sprint("instance-", len(r.plan.Instances)), model.Lenders(f.Lenders, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
+	m, err := fleet.New(f)
+	if err != nil {
+		return nil, err
+	}
+	for _, tenant := range r.own.Tenants {
+		m.Budget("tenant/"+tenant.Name, tenant.Limit, false)
+	}
+	var mu sync.Mutex // guards m
+	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Lenders)], Log: slog.New(slog.DiscardHandler),
+		Hear: func(from string, w fleet.Word) {
+			mu.Lock()
+			defer mu.Unlock()
+			m.Hear(clock.Boot(), from, w)
+		}})
+	if err != nil {
+		return nil, err
+	}
+	m.Begin(clock.Boot(), rand.Uint64())
+	ended := make(chan struct{})
+	turn := time.NewTicker(10 * time.Millisecond)
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			select {
+			case <-turn.C:
+			case <-ended:
+				return
+			}
+			mu.Lock()
+			m.Tick(clock.Boot())
+			out := m.Out()
+			mu.Unlock()
+			for _, o := range out {
+				if o.Word.Ask != nil {
+					for i := range o.Word.Ask.Wants {
+						o.Word.Ask.Wants[i].Asked, o.Word.Ask.Wants[i].Earns = times, times
+					}
+				}
+				p.Tell(o.To, o.Word)
+			}
+		}
+	})
+	return func() {
+		turn.Stop()
+		close(ended)
+		done.Wait()
+		p.Close(true)
+	}, nil
+}
+
+// relimit has instances read their files again, with so many times the tenants' limits.
+func (r *run) relimit(instances []int, times float64) {
+	for _, n := range instances {
+		in := r.instances[n]
+		text, err := r.file(in)
+		if err == nil {
+			var doc map[string]any
+			if err = toml.Unmarshal(text, &doc); err == nil {
+				tenants, _ := doc["tenant"].([]any)
+				for _, t := range tenants {
+					if table, _ := t.(map[string]any); table["limit"] != nil {
+						for _, tenant := range r.own.Tenants {
+							if tenant.Name == table["name"] {
+								table["limit"] = max(1, times*tenant.Limit)
+							}
+						}
+					}
+				}
+				if text, err = toml.Marshal(doc); err == nil {
+					err = os.WriteFile(in.config, text, 0o600)
+				}
+			}
+		}
+		if err != nil {
+			r.fail(err)
+			return
+		}
+		in.signal(syscall.SIGHUP)
+	}
+}
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -6,6 +6,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/model/node"
+	"dunlinsail/internal/model/scenario"
 )
 
 // schedule schedules what happens.
@@ -82,6 +83,8 @@
 				r.queue.push(r.now+second, evBack, 0, r.instances[n])
 			}
 		}
+	case "limits":
+		r.limits(h, h.Sizes[0])
 	case "upgrade":
 		for _, n := range h.Instances {
 			if in := r.instances[n]; !in.down {
@@ -127,6 +130,19 @@
 	in.kill()
 }
 
+// limits has instances go by other limits of tenants.
+func (r *run) limits(h *scenario.Happening, times float64) {
+	var all []float64
+	for _, v := range r.settings.Site.Limits {
+		all = append(all, v*times)
+	}
+	for _, n := range h.Instances {
+		if in := r.instances[n]; !in.down {
+			in.engine.Limits(all)
+		}
+	}
+}
+
 // ends has something end.
 func (r *run) ends(i int) {
 	h := &r.plan.Happenings[i]
@@ -156,6 +172,8 @@
 				in.start(false)
 			}
 		}
+	case "limits":
+		r.limits(h, 1)
 	case "deaf":
 		for _, n := range h.Instances {
 			r.instances[n].hears()
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -103,6 +103,16 @@
 	return false
 }
 
+// Lies is how many times what it wants the liar says that it does at an instant; 1 without one.
+func (p *Plan) Lies(now Micros) float64 {
+	for i := range p.Happenings {
+		if h := &p.Happenings[i]; h.What == "liar" && now >= h.At && now < h.Until {
+			return h.Sizes[0]
+		}
+	}
+	return 1
+}
+
 // Late is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
 // of the word's own.
 func (p *Plan) Late(now Micros, from int, lots [3]float64) (more Micros, twice bool) {
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -251,6 +251,8 @@
 	"deaf":         {false, ""}, // instances hear nothing of discovery, and all of it at its end
 	"late-words":   {false, ""}, // of what instances say every other word is late by up to delay, and one in ten comes twice
 	"upgrade":      {false, ""}, // another process takes over from an instance's while it serves
+	"liar":         {false, "times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody"},
+	"limits":       {false, "times the tenants' limits in the files of instances, read again while they serve"},
 	"part":         {false, ""}, // no word passes between instances and the others; every: on and off
 	"power":        {false, ""}, // all endpoints and instances begin anew at once
 }
@@ -507,7 +509,7 @@
 	k.That(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
 	k.That(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
 	k.That(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
-	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade"
+	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade" || e.What == "limits"
 	k.That(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
 	checkRange(k, at("instances"), e.Instances, 0, 1)
 	k.That(ofInstances || len(e.Named) == 0, at("named"), "%q does not happen to instances", e.What)
@@ -530,8 +532,10 @@
 		checkRange(k, at("size"), e.Size, 0, 1)
 	case "neighbour":
 		checkRange(k, at("size"), e.Size, 0, 0.99)
-	case "surge":
+	case "surge", "limits":
 		checkRange(k, at("size"), e.Size, 0, 1000)
+	case "liar":
+		checkRange(k, at("size"), e.Size, 1, 1e9)
 	case "cut":
 		k.That(e.Zone != "", at("zone"), "is missing: which zone is cut off")
 		k.That(e.To != e.Zone, at("to"), "a zone cannot be cut off from itself")
--- a/internal/model/words.go
+++ b/internal/model/words.go
@@ -51,6 +51,12 @@
 	if !ok || err != nil || n < 0 || n >= len(r.instances) {
 		return // one that this run does not have
 	}
+	if times := r.plan.Lies(r.now); times != 1 && w.Ask != nil && in.n == len(r.instances)-1 {
+		for i := range w.Ask.Wants {
+			w.Ask.Wants[i].Asked *= times
+			w.Ask.Wants[i].Earns *= times
+		}
+	}
 	r.words++
 	r.meter.Costs.Words++
 	lots := r.luck.For(^r.words, uint64(in.n))
