Measure what deciding with others costs a request in the engine, beside deciding alone

Need: at most 2% of a request's processor time for what instances decide together.

Change: a benchmark of the engine alone, with and without, in one run.

--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -42,7 +42,7 @@
 }
 
 // fleetOf returns an engine with three endpoints; with uses it is alone in a fleet of one that lends to itself.
-func fleetOf(t *testing.T, s *site.Site, uses *Uses, o *overload.Settings) (*Engine, *Pool, *carrier) {
+func fleetOf(t testing.TB, s *site.Site, uses *Uses, o *overload.Settings) (*Engine, *Pool, *carrier) {
 	t.Helper()
 	h := &carrier{answers: map[string]Answer{}}
 	x := New(Config{Site: s, Seed: 1, Host: h, Sharing: Sharing{Open: 1000}})
@@ -75,7 +75,7 @@
 	x.Advance(to)
 }
 
-func submit(t *testing.T, x *Engine, p *Pool, now Micros, id string, tenant uint16) {
+func submit(t testing.TB, x *Engine, p *Pool, now Micros, id string, tenant uint16) {
 	t.Helper()
 	c, err := NewClient(shares.Spec{Weight: 1})
 	if err != nil {
@@ -215,3 +215,25 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// What a request costs the engine alone and with others, in one run: what a process adds around it is many times that.
+func BenchmarkTogether(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		uses *Uses
+	}{{"alone", nil}, {"with others", &Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}}} {
+		b.Run(c.name, func(b *testing.B) {
+			o := overload.Shipped()
+			o.Instances = 1
+			x, p, h := fleetOf(b, tenantSite(0, 1, 0), c.uses, &o)
+			now := Micros(5 * second)
+			run(x, now)
+			for b.Loop() {
+				submit(b, x, p, now, "x", 1)
+				h.served(x, now+1000)
+				now += 2000
+				run(x, now)
+			}
+		})
+	}
+}
