--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -263,6 +263,7 @@
 	if old := x.Jobs[j.ID]; old != nil {
 		return x.say(old), nil
 	}
+	j.Machines = slices.Clone(j.Machines)
 	slices.Sort(j.Machines)
 	j.Machines = slices.Compact(j.Machines)
 	for _, name := range j.Machines {
@@ -408,10 +409,16 @@
 		ahead += map[bool]int{true: 1}[i.Phase == Ahead || i.Phase == Known]
 	}
 	for _, i := range next {
-		if i.Phase == Asked && ahead < x.s.Ahead {
+		if i.Phase != Asked {
+			continue
+		}
+		if ahead >= x.s.Ahead && x.giveWay(next, i) {
+			ahead--
+		}
+		if ahead < x.s.Ahead {
 			x.enter(i, Ahead)
 			ahead++
-		} else if i.Phase == Asked {
+		} else {
 			i.Waits = fmt.Sprintf("%d are next in line before it", ahead)
 		}
 	}
@@ -427,6 +434,20 @@
 	}
 }
 
+// giveWay has the last that is next in line and not urgent give way to one that is, and says whether there was one.
+func (x *State) giveWay(next []*Item, to *Item) bool {
+	if !x.Jobs[to.Jobs[0]].Urgent {
+		return false
+	}
+	for _, i := range slices.Backward(next) {
+		if (i.Phase == Ahead || i.Phase == Known) && !x.Jobs[i.Jobs[0]].Urgent {
+			x.enter(i, Asked)
+			return true
+		}
+	}
+	return false
+}
+
 // order returns the machines that are not out in their turn: urgent ones first, then by how many who asked has had, then by age.
 func (x *State) order() (all []*Item) {
 	for _, i := range x.Items {
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -426,7 +426,7 @@
 	doc["discovery"] = map[string]any{"address": in.roster.Addr, "mode": r.own.Discovery.Mode}
 	delete(doc, "takeover")
 	if r.upgrades() {
-		doc["takeover"] = map[string]any{"socket": filepath.Join(r.dir, fmt.Sprint("takeover-", in.n))}
+		doc["takeover"] = map[string]any{"socket": filepath.Join(r.dir, fmt.Sprint("takeover-", in.n)), "drain_within": r.own.Takeover.DrainWithin.String()}
 	}
 	delete(doc, "record")
 	delete(doc, "others")
