Have a log that makes no sense cost a voter its vote and not the process; say unready in time

Need: raft says by a panic that a log was put back from an older copy, which would end a daemon that serves; a process that waits for its first order said that it was ready.

Measured: a test that cuts a voter's log and starts it again; it failed by the panic before.

--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -1,13 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -15,6 +13,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/work"
+	"dunlinsail/internal/operators"
 	"dunlinsail/internal/settle"
 )
 
@@ -49,28 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(stop, askFor)
 	defer cancel()
-	method, in := http.MethodGet, io.Reader(nil)
-	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		method, in = http.MethodPost, bytes.NewReader(text)
-	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, in)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%s: %s", at, strings.TrimSpace(string(text)))
-	}
-	return text, err
+	return operators.Call(ctx, at, path, body)
 }
 
 type workCmd struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,7 @@
 	over    chan struct{} // closed once the core takes no more events
 	ready   atomic.Bool   // an endpoint is known to serve
 	isReady chan struct{} // closed from then on
+	waits   atomic.Bool   // an order is waited for: nothing goes anywhere
 
 	mu     sync.Mutex
 	begins []func(now balancer.Micros) // of new pools; they go before any event that follows them
@@ -105,7 +106,7 @@
 }
 
 // Ready says whether requests can be served.
-func (x *Core) Ready() bool { return x.ready.Load() }
+func (x *Core) Ready() bool { return x.ready.Load() && !x.waits.Load() }
 
 // Wait waits until the core is ready, or ctx ends.
 func (x *Core) Wait(ctx context.Context) error {
@@ -338,6 +339,7 @@
 
 // Order has the core obey an order in which machines go out (engine.Engine.Order), and returns once that holds.
 func (x *Core) Order(o engine.Orders) {
+	x.waits.Store(o.Wait)
 	ask(x, func(now balancer.Micros) bool {
 		x.engine.Order(now, o)
 		return true
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -191,6 +192,10 @@
 		return r, nil
 	case <-x.ended:
 	case <-ctx.Done():
+		select {
+		case x.events <- func() { maps.DeleteFunc(x.waiting, func(_ uint64, c chan settle.Reply) bool { return c == answer }) }:
+		default:
+		}
 	}
 	return settle.Reply{}, errLeaderless
 }
--- a/internal/lab/live/work.go
+++ b/internal/lab/live/work.go
@@ -1,13 +1,9 @@
 package live
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -16,6 +12,7 @@
 	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/operators"
 	"dunlinsail/internal/settle"
 	"dunlinsail/internal/standin/port"
 )
@@ -83,28 +80,7 @@
 func callOne(ctx context.Context, addr, path string, body any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
-	method, in := http.MethodGet, io.Reader(nil)
-	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		method, in = http.MethodPost, bytes.NewReader(text)
-	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, in)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.New(string(text))
-	}
-	return text, err
+	return operators.Call(ctx, addr, path, body)
 }
 
 // labour has machines taken out and brought back until all are, or the event ends.
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -174,3 +174,33 @@
 	w.WriteHeader(code)
 	fmt.Fprintf(w, format+"\n", args...)
 }
+
+// Call calls a process's operators' path, with a body in JSON where there is one, and returns what it says. What is said of a call that is turned down is the
+// error.
+func Call(ctx context.Context, addr, path string, body any) ([]byte, error) {
+	method, in := http.MethodGet, io.Reader(nil)
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		method, in = http.MethodPost, bytes.NewReader(text)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, in)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", addr, strings.TrimSpace(string(text)))
+	}
+	return text, err
+}
+
+// answerMost bounds what a call's answer may be.
+const answerMost = 64 << 20
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -211,7 +211,12 @@
 func (n *Node) State() *work.State { return n.state }
 
 // begin goes on from what was kept.
-func (n *Node) begin(k Kept) error {
+func (n *Node) begin(k Kept) (err error) {
+	defer func() {
+		if p := recover(); p != nil { // as guard has it
+			err = n.fail(fmt.Errorf("the order's log makes no sense: %v", p))
+		}
+	}()
 	n.storage = raft.NewMemoryStorage()
 	if k.Snapshot != nil && k.Snapshot.GetMetadata().GetIndex() > 0 {
 		if err := n.storage.ApplySnapshot(k.Snapshot); err != nil {
@@ -276,8 +281,17 @@
 	return out
 }
 
+// guard has raft's own word that its log makes no sense, which it says by a panic, be the end of this voter's part and not of the process:
+// a log that was put back from an older copy is such a one.
+func (n *Node) guard() {
+	if p := recover(); p != nil {
+		n.fail(fmt.Errorf("the order's log makes no sense: %v", p))
+	}
+}
+
 // Tick does what is due.
 func (n *Node) Tick(now Micros) {
+	defer n.guard()
 	for n.turnAt <= now {
 		n.turnAt += n.s.Turn
 		if now-n.turnAt > 20*n.s.Turn {
@@ -351,6 +365,7 @@
 
 // Hear takes another's word in.
 func (n *Node) Hear(now Micros, from string, w Word) {
+	defer n.guard()
 	n.take(now, from, w)
 	n.settle(now)
 }
@@ -674,6 +689,7 @@
 func (n *Node) Look(now Micros) (number uint64) { return n.put(now, Command{Look: true}) }
 
 func (n *Node) put(now Micros, c Command) (number uint64) {
+	defer n.guard()
 	n.numbers++
 	c.Number = n.numbers
 	number = n.numbers
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -449,6 +449,15 @@
 	if x := w.all[2].node.State(); x.Jobs["other"] == nil {
 		t.Error("what was settled is lost with all processes")
 	}
+	// One whose log was put back from an older copy is told, and its process goes on.
+	back := w.all[2]
+	w.kill(back)
+	back.disk.entries = back.disk.entries[:len(back.disk.entries)/2]
+	w.start(back)
+	w.run(2e6)
+	if back.node.Failed() == nil || !back.up {
+		t.Error("an old log is gone on from")
+	}
 }
 
 // Each planted error is found.
