Go through endpoints in order where suspects and machines out are taken in

Need: a run of the model is a function of its plan; what a balancer leaves to chance was drawn in a map's order where others' words or an order came in.

Change: endpoints by name, in both places.

--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -42,8 +42,8 @@
 // obey has all pools obey as of an instant.
 func (x *Engine) obey(now Micros) {
 	for _, p := range x.pools {
-		for name, e := range p.byName {
-			p.obey(now, name, e)
+		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in their order: what is left to chance must not depend on a map's
+			p.obey(now, name, p.byName[name])
 		}
 		p.counted()
 	}
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -193,7 +194,8 @@
 			p.lent(now)
 			p.rebound(now)
 		}
-		for name, e := range p.byName {
+		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in their order: what is left to chance must not depend on a map's
+			e := p.byName[name]
 			for class := range x.config.Site.Settings.Classes {
 				key := suspect{p.evidenceOf(name), class}
 				if chance := fresh[key]; chance != t.suspect[key] {
