--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -66,7 +66,7 @@
 	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log}
 	if path := c.Peers.SpentLog; path != "" {
 		var err error
-		if d.spent, err = openSpent(path); err != nil {
+		if d.spent, err = openSpent(path, o.Log); err != nil {
 			return nil, fmt.Errorf("peers.spent: %w", err)
 		}
 		conf.Spent = d.spent.note
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -582,13 +582,13 @@
 	if s != nil {
 		s.Fleet = l.core.GiveFleet()
 	}
+	l.stopOperating() // before what it asks is taken from it
 	if o := l.unsettles(); o != nil && s != nil {
 		left := *o
 		left.Until, left.End = o.Until-l.clk.Now(), o.End-l.clk.Now()
 		s.Order = &left
 	}
 	l.leaveOthers(false)
-	l.stopOperating()
 	l.state = l.encode(s)
 }
 
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -104,7 +105,7 @@
 // spentWaiting is how many lines wait for a disk that is slow; beyond that some are missing, and one line says so.
 const spentWaiting = 1 << 14
 
-func openSpent(path string) (*spentLog, error) {
+func openSpent(path string, log *slog.Logger) (*spentLog, error) {
 	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -116,9 +117,14 @@
 		w := bufio.NewWriter(f)
 		for line := range s.lines {
 			w.WriteString(line)
-			if len(s.lines) == 0 {
-				w.Flush() // what a process that is killed has spent is to be known
+			if len(s.lines) > 0 || w.Flush() == nil { // what a process that is killed has spent is to be known
+				continue
 			}
+			// The disk may be full: what is spent is bounded all the same. A writer that has failed writes nothing more.
+			log.Error("peers.spent is not kept any more", "file", path)
+			for range s.lines {
+			}
+			return
 		}
 		w.Flush()
 	}()
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -167,6 +167,10 @@
 			delete(x.waiting, number)
 		}
 	}
+	if x.node.Blank() && x.node.Duty().Heard() && !x.warned {
+		x.warned = true
+		x.d.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
+	}
 	if err := x.node.Failed(); err != nil && !x.warned {
 		x.warned = true
 		x.d.log.Error("this instance has no vote in the order of machines out any more; it obeys", "error", err)
--- a/internal/decide/work/duty.go
+++ b/internal/decide/work/duty.go
@@ -45,9 +45,6 @@
 // Heard says whether it has heard an order at all.
 func (d *Duty) Heard() bool { return d.heard }
 
-// Life returns the number of the process.
-func (d *Duty) Life() uint64 { return d.life }
-
 // Inherit begins with what a process obeys whose place this one takes, until when that holds.
 func (d *Duty) Inherit(o Order, until Micros) { d.order, d.heard, d.until = o, true, until }
 
