Read indented lists, replace silent watches in a row within 6 s, believe generations begun anew

An indented list was "malformed" for ever: the watch was asked for again, was answered with the same, and nothing was ever told. - muteAfter was 4 s for an open watch and for each further one: a second silent one told after 12.3 s, where what is missed counts as told after 6 s. Where discovery is asked, a mute watch ended as a failed call, and the balancer's pauses (up to 3.75 s for a large fleet) came on top. - keep() waited up to 1.5 s between calls while discovery was down; what an agent learns at its return counts at once, and a drain has 0.25 s. - a discovery that begins anew with lower generations was passed over as stale for ever (watch() and engine.Pool.members).

Change: lists are decoded from the stream in whatever pieces they come, with a bound for each; any byte puts off the end by mute, which is 2.6 s for an open watch and 2.5 s (0.5 s at the platform's own agent) for a call without an answer. An open watch that fell mute is asked for anew at once in both modes, spread over 0.8 s where discovery is one service for all. Calls of the agent follow after 25 to 75 ms. A lower generation as the first answer to our own call has the whole list asked for; if that is lower too, the discovery has begun anew (Told.Back), and an endpoint known to drain stays out until it has started again. A late list on a watch that has told more is passed over as before.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -91,6 +91,11 @@
 	if x.Ready() {
 		t.Error("an old list brought a draining endpoint back")
 	}
+	p.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 3, Anew: true, Back: true, Members: up})
+	x.sync(t)
+	if x.Ready() {
+		t.Error("a list that began anew brought back an endpoint that is known to drain")
+	}
 	p.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 1, Anew: true, Members: up})
 	x.sync(t)
 	if !x.Ready() || len(u.made) != 1 {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,8 +3,6 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -70,10 +68,19 @@
 	"up": balancer.Ready, "draining": balancer.Draining, "removed": balancer.Gone}
 
 const (
-	muteAfter = 4 * time.Second // an idle watch says something every 2 s
-	waitLeast = 100 * time.Millisecond
-	waitMost  = time.Second
-	lineShare = 16 // of the memory, a line of discovery's may take one part in so many
+	// muteAfter is how long an open watch may say nothing: an idle one says something every 2 s. What a silent watch misses
+	// counts as told 6 s after it fell silent, so that this, a second watch that is silent after its head, and a third that
+	// is answered have to fit into those.
+	muteAfter = 2600 * time.Millisecond
+	// answerAfter is how long a call may take to be answered: where discovery is asked, a call waits 2 s for its turn.
+	answerAfter = 2500 * time.Millisecond
+	waitLeast   = 50 * time.Millisecond
+	waitMost    = time.Second
+	dialMost    = time.Second
+	// spreadOver is the time over which the calls of a fleet are spread whose watches all fell silent at once. With muteAfter and
+	// answerAfter it fits into the 6 s, too.
+	spreadOver = 800 * time.Millisecond
+	lineShare  = 16 // of the memory, a list of discovery's may take one part in so many
 )
 
 // Unlisted is the generation of a watcher that holds no list of its discovery yet.
@@ -82,15 +89,18 @@
 // Teller is told of each list. What it is told when the context has ended comes too late.
 type Teller func(ctx context.Context, t engine.Told)
 
-// Watcher holds a watch at one discovery and tells of each line.
+// Watcher holds a watch at one discovery and tells of each list.
 type Watcher struct {
-	Mute time.Duration // a watch that says nothing for so long is asked for again
+	Mute   time.Duration // a watch that says nothing for so long is asked for again
+	Answer time.Duration // and so is one whose answer does not begin within this
+	Wait   time.Duration // at most, between calls that come to nothing
 	// Asked is told of each call and what came of it; nil is nobody.
 	Asked func(err error)
 
 	addr     string
 	client   *http.Client
 	after    int64 // generation of the latest list of this discovery, or Unlisted
+	back     bool  // its latest list was older than that: the whole list is asked for
 	lineMost int
 	tell     Teller
 	log      *slog.Logger
@@ -99,15 +109,19 @@
 // NewWatcher returns a watcher of the discovery at addr, whose list after that generation it is to tell, from a
 // program of so much memory.
 func NewWatcher(addr string, after int64, memoryMB int, tell Teller, log *slog.Logger) *Watcher {
-	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, tell: tell, log: log,
+	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare,
+		Mute: muteAfter, Answer: answerAfter, Wait: waitMost, tell: tell, log: log,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: waitMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: dialMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}}}
 }
 
 // StartAfter has the watch begin after a generation that is known otherwise. It must come before the first watch.
 func (w *Watcher) StartAfter(generation int64) { w.after = generation }
 
+// errMute is of a watch that has fallen silent, or of a call that is not answered.
+var errMute = errors.New("mute")
+
 // keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
 // generation on, later each time and never in step with other sidecars.
 func (w *Watcher) keep(ctx context.Context) {
@@ -123,53 +137,68 @@
 		if wait == waitLeast { // one line for an outage, not one for each try
 			w.log.Warn("discovery watch ended, asking again", "error", err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
-		wait = min(2*wait, waitMost)
+		sleep(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, max(waitLeast, w.Wait))
 	}
 }
 
-// once holds one watch, for a balancer that asks for each.
+// once holds one watch, for a balancer that asks for each. One that was open and fell mute is asked for anew here, once for
+// each time that it was heard: the balancer's pauses are for a discovery that is short of time, and would not fit into the time
+// in which a silent watch has to be replaced.
 func (w *Watcher) once(ctx context.Context) {
-	if _, err := w.watch(ctx); ctx.Err() == nil {
+	for {
+		heard, err := w.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		w.log.Warn("discovery watch ended", "error", err)
+		if !heard || !errors.Is(err, errMute) {
+			return
+		}
+		sleep(ctx, rand.N(spreadOver))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
-// watch holds one watch until it ends, and says whether it brought a list.
+// watch holds one watch until it ends, and says whether it brought a list, or was open when it fell mute.
 func (w *Watcher) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off leaves the connection open and silent, so our own clock ends it.
-	mute := time.AfterFunc(w.Mute, func() { cancel(errors.New("mute")) })
+	mute := time.AfterFunc(w.Answer, func() { cancel(errMute) })
 	defer mute.Stop()
-	if w.after == Unlisted {
+	if w.after == Unlisted || w.back {
 		// Only a whole list tells what the discovery before this one knew and this one does not.
-		if err := w.whole(ctx); err != nil {
+		if err := w.whole(ctx, mute); err != nil {
 			return false, cmp.Or(context.Cause(ctx), err)
 		}
-		mute.Reset(w.Mute)
 		heard = true
+		mute.Reset(w.Answer)
 	}
 	resp, err := w.get(ctx, "?watch=1&after="+strconv.FormatInt(w.after, 10))
 	if err != nil {
 		return heard, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, w.lineMost)
-	for lines.Scan() {
-		mute.Reset(w.Mute)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	mute.Reset(w.Mute)
+	lists := w.read(resp.Body, mute)
+	for first := true; ; first = false {
+		l, err := lists.next()
+		if err != nil {
+			err = cmp.Or(context.Cause(ctx), err)
+			return heard || errors.Is(err, errMute) && lists.total > 0, err
 		}
-		var l List
-		if err := json.Unmarshal(line, &l); err != nil {
-			// What it changed is not known: the next watch tells it again.
-			return heard, fmt.Errorf("malformed line: %w", err)
+		if l.Generation < w.after && first {
+			// We have just asked for what is newer than our list, so that this is no late message: discovery may have begun
+			// anew, with generations of its own. Whether it has, its whole list tells.
+			w.back = true
+			return heard, fmt.Errorf("discovery answered with generation %d after %d: asking for the whole list", l.Generation, w.after)
 		}
 		if l.Generation < w.after {
 			// What is older than our list would bring back endpoints that we know to be draining.
@@ -179,27 +208,76 @@
 		w.after, heard = l.Generation, true
 		w.tell(ctx, l.Told())
 	}
-	if err := lines.Err(); err != nil {
-		return heard, cmp.Or(context.Cause(ctx), err)
+}
+
+// lists reads lists from an answer as they come, each over as many lines as it likes.
+type lists struct {
+	from  io.Reader
+	mute  *time.Timer
+	after time.Duration
+	most  int64
+	total int64 // bytes read
+	begun int64 // of these, before the end of the list before
+	json  *json.Decoder
+}
+
+// read returns the lists of an answer. Each byte that comes puts off the end by mute.
+func (w *Watcher) read(from io.Reader, mute *time.Timer) *lists {
+	l := &lists{from: from, mute: mute, after: w.Mute, most: int64(w.lineMost)}
+	l.json = json.NewDecoder(l)
+	return l
+}
+
+// Read reads for the decoder. What lies between two lists counts towards the bound: months of blank lines reach it, and then
+// the watch is asked for again.
+func (l *lists) Read(b []byte) (int, error) {
+	if l.total-l.begun > l.most {
+		return 0, fmt.Errorf("a list of over %d bytes", l.most)
+	}
+	n, err := l.from.Read(b)
+	if n > 0 {
+		l.mute.Reset(l.after)
+		l.total += int64(n)
 	}
-	return heard, io.ErrUnexpectedEOF
+	return n, err
+}
+
+// next returns the next list.
+func (l *lists) next() (*List, error) {
+	l.begun = l.json.InputOffset()
+	list := &List{}
+	err := l.json.Decode(list)
+	switch {
+	case err == io.EOF:
+		return nil, io.ErrUnexpectedEOF // a watch does not end by itself
+	case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)):
+		// What it changed is not known: the next watch tells it again.
+		return nil, fmt.Errorf("malformed list: %w", err)
+	}
+	return list, err
 }
 
 // whole asks for the whole list.
-func (w *Watcher) whole(ctx context.Context) error {
+func (w *Watcher) whole(ctx context.Context, mute *time.Timer) error {
 	resp, err := w.get(ctx, "")
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	var l List
-	if err := json.NewDecoder(io.LimitReader(resp.Body, int64(w.lineMost))).Decode(&l); err != nil {
-		return fmt.Errorf("malformed list: %w", err)
+	mute.Reset(w.Mute)
+	l, err := w.read(resp.Body, mute).next()
+	if err != nil {
+		return err
 	}
 	l.Reset = true
-	w.after = l.Generation
 	told := l.Told()
-	told.Anew = true
+	// Twice in succession it has answered with what is older than our list: its generations have begun anew.
+	told.Back = w.after != Unlisted && l.Generation < w.after
+	told.Anew = w.after == Unlisted || told.Back
+	if told.Back {
+		w.log.Warn("discovery has begun anew", "generation", l.Generation, "had", w.after)
+	}
+	w.after, w.back = l.Generation, false
 	w.tell(ctx, told)
 	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,10 +1,19 @@
 package discovery_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"dunlinsail/balancer"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/standin/board"
@@ -65,3 +74,151 @@
 		t.Errorf("asked with %q, want %q", got, "1 7")
 	}
 }
+
+// A list may come indented, over many lines and in any pieces, also behind blank lines. What does not end is cut off.
+func TestIndentedLists(t *testing.T) {
+	b := board.New(t)
+	told := watching(t, b, peer.Soon)
+	peer.Within(t, b.After, "watch")
+	whole := board.Line(8, true, board.Up("s-1", "127.0.0.1:1"))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(whole), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	b.Lines <- " "
+	for _, line := range strings.SplitAfter(indented.String(), "\n") { // each as a piece of its own, with a line's end more
+		b.Lines <- line
+	}
+	got := peer.Within(t, told, "indented list")
+	if got.Generation != 8 || len(got.Members) != 1 || got.Members[0].Name != "s-1" {
+		t.Errorf("told %+v", got)
+	}
+	b.Lines <- board.Line(9, false) + board.Line(10, false)
+	for want := int64(9); want <= 10; want++ {
+		if got := peer.Within(t, told, "list of two on a line"); got.Generation != want {
+			t.Errorf("told of %d, want %d", got.Generation, want)
+		}
+	}
+	for range 18 { // of a program of 16 MB a list may take one
+		b.Lines <- `{"generation":11,"reset":true,"instances":[` + strings.Repeat(" ", 64<<10)
+	}
+	if got := peer.Within(t, b.After, "watch after a list without end"); got != "1 10" {
+		t.Errorf("asked with %q, want %q", got, "1 10")
+	}
+}
+
+// script is a discovery of which a test writes each connection by hand, in the order in which they come.
+func script(t *testing.T, handle ...func(c *net.TCPConn, r *bufio.Reader)) string {
+	var calls atomic.Int32
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if i := int(calls.Add(1)) - 1; i < len(handle) {
+			handle[i](c, r)
+		}
+		<-ended
+	})
+}
+
+const watchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// What a silent watch misses counts as told 6 s after it fell silent. In the worst order it falls silent right after it has
+// said something, the next one is open and says nothing after its head, or is never answered, and only the third tells. The
+// bound includes the grace that a drain has.
+func TestSilentWatchesInARow(t *testing.T) {
+	list := board.Line(9, true, board.Up("s-1", "127.0.0.1:1"))
+	silences := map[string]func(c *net.TCPConn, r *bufio.Reader){
+		"after its head": func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead) },
+		"in a list": func(c *net.TCPConn, r *bufio.Reader) {
+			peer.Take(r)
+			io.WriteString(c, watchHead+chunk(list[:20]))
+		},
+		"never answered": func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) },
+	}
+	for name, silence := range silences {
+		for mode, source := range map[string]func(w *discovery.Watcher) *discovery.Source{
+			"kept":  discovery.Keep,
+			"asked": func(w *discovery.Watcher) *discovery.Source { return discovery.Once(w, func() {}) },
+		} {
+			if mode == "asked" && name != "after its head" {
+				continue // a call that fails is the balancer's to make again
+			}
+			t.Run(name+", "+mode, func(t *testing.T) {
+				t.Parallel()
+				told := make(chan engine.Told, 4)
+				silent := make(chan time.Time, 1)
+				open := func(c *net.TCPConn, r *bufio.Reader) {
+					peer.Take(r)
+					io.WriteString(c, watchHead+chunk(board.Line(8, true)))
+					silent <- time.Now()
+				}
+				good := func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead+chunk(list)) }
+				calls := []func(*net.TCPConn, *bufio.Reader){open, silence, good}
+				if mode == "asked" {
+					calls = []func(*net.TCPConn, *bufio.Reader){open, good}
+				}
+				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.Told) { told <- l }, peer.Quiet)
+				s := source(w)
+				s.Watch(true)
+				t.Cleanup(s.Close)
+				peer.Within(t, told, "first list")
+				from := <-silent
+				if got := peer.Within(t, told, "list of the watch that speaks"); got.Generation != 9 {
+					t.Errorf("told of %d", got.Generation)
+				}
+				if took := time.Since(from); took > 6*time.Second {
+					t.Errorf("told %v after the watch fell silent", took)
+				}
+			})
+		}
+	}
+}
+
+// A discovery that begins anew with lower generations is believed once its whole list says so too. What comes late on an open
+// watch is passed over as before, and an endpoint known to drain is not brought back by it.
+func TestGenerationsBeginAnew(t *testing.T) {
+	b := board.New(t)
+	told := watching(t, b, peer.Soon)
+	expect := func(want string) {
+		t.Helper()
+		if got := peer.Within(t, b.After, "call"); got != want {
+			t.Errorf("asked with %q, want %q", got, want)
+		}
+	}
+	expect("1 7")
+	b.Lines <- board.Line(41, true)
+	peer.Within(t, told, "list before")
+	b.Lines <- board.Line(3, true) // late, on the watch that has told more
+	b.Lines <- ""
+	expect("1 41")
+	b.Lines <- board.Line(3, true, board.Up("s-1", "127.0.0.1:1"))
+	expect(" ") // the whole list
+	b.Lines <- board.Line(3, true, board.Up("s-1", "127.0.0.1:1"))
+	got := peer.Within(t, told, "list of the new history")
+	if got.Generation != 3 || !got.Anew || !got.Back || got.Kind != balancer.ListFull {
+		t.Errorf("told %+v", got)
+	}
+	b.Lines <- ""
+	expect("1 3")
+	b.Lines <- board.Line(4, false)
+	if got := peer.Within(t, told, "what follows"); got.Generation != 4 || got.Anew {
+		t.Errorf("told %+v", got)
+	}
+}
+
+// An answer that was late by itself does not begin anything: the whole list shows it.
+func TestLateFirstAnswer(t *testing.T) {
+	b := board.New(t)
+	told := watching(t, b, peer.Soon)
+	peer.Within(t, b.After, "watch")
+	b.Lines <- board.Line(5, true) // asked for what is newer than 7
+	if got := peer.Within(t, b.After, "call"); got != " " {
+		t.Errorf("asked with %q, want the whole list", got)
+	}
+	b.Lines <- board.Line(8, true)
+	if got := peer.Within(t, told, "list"); got.Generation != 8 || got.Anew {
+		t.Errorf("told %+v", got)
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -203,6 +203,7 @@
 	Kind       balancer.ListKind
 	Generation int64
 	Anew       bool // it comes from another discovery, whose generations are its own
+	Back       bool // with Anew: it is the same discovery, whose generations have begun anew
 	Members    []Member
 }
 
@@ -253,6 +254,9 @@
 			e.Target.Drop()
 			e.Addr, e.Target = m.Addr, p.engine.config.Host.Target(m.Addr)
 		}
+		if old := p.list[m.Name]; told.Back && e.state == balancer.Draining && old.Started == m.Started {
+			m.State = max(m.State, balancer.Draining) // it may be older than what told of the drain
+		}
 		p.list[m.Name] = m
 		p.setState(now, m.Name, e, m.State)
 		entries = append(entries, balancer.Endpoint{ID: e.Number, Zone: index(p.engine.config.Site.Zones, m.Zone),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,6 +45,13 @@
 	idleLeast = 100 * time.Millisecond
 )
 
+// Where lists are pushed, discovery is an agent on this machine: it answers at once and at no cost. What it is told when it is
+// back after a silence counts as told to us at that moment, so that a call must be waiting, or follow within the grace of a drain.
+const (
+	agentAnswer = 500 * time.Millisecond
+	agentWait   = 50 * time.Millisecond
+)
+
 // sockets is how many descriptors clients and endpoints share.
 func sockets(c *platform.Config) int {
 	if c.Operator != "" {
@@ -175,6 +182,9 @@
 	if s.events != nil {
 		w.Asked = s.events.Asked
 	}
+	if !s.config.Site.Settings.Subscribe {
+		w.Answer, w.Wait = agentAnswer, agentWait
+	}
 	return w
 }
 
