See clients leave whatever they had sent before, and end at once what waits for a connection

Cause, forced by tests with real connections and a handshake that is held back: - submit (internal/front/http1/whole.go) watched a client only while its body did not stream and nothing of a next request had come, and stopped for good with the first byte of one.

Change: the client is watched until the answer (watch.go). It is asked once before the request is handed in. An attempt that is kept in has ended: its dial is given up, whether or not what runs may be withdrawn.

What remains: a client that closes with more unsent than the connection holds shows its end only once that is read.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -371,12 +371,13 @@
 	x.end(c)
 }
 
-// end marks a request as over and keeps in what has not gone out yet.
+// end marks a request as over and keeps in what has not gone out yet. What is kept in has ended, whether or not attempts may be
+// withdrawn that run: nobody waits for its connection any more, and nothing is held for it.
 func (x *Engine) end(c *Call) {
 	c.ended = true
 	for _, a := range c.attempts {
-		if !a.done {
-			x.config.Host.Shut(a)
+		if !a.done && x.config.Host.Shut(a) {
+			x.at(x.now, func(now Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
 		}
 	}
 	x.forget(c)
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -351,19 +351,6 @@
 // rests says whether nothing has come on the connection that has not been looked at.
 func (c *conn) rests() bool { return c.in.empty() }
 
-// watch returns a channel on which one error comes when the client leaves, or nil when it sends something
-// before it has its answer. To end the watch, set a deadline in the past.
-func (c *conn) watch() <-chan error {
-	c.SetReadDeadline(time.Time{})
-	c.limit.N = 1
-	gone := make(chan error, 1)
-	go func() {
-		_, err := c.r.Peek(1)
-		gone <- err
-	}()
-	return gone
-}
-
 const (
 	writeTime  = time.Second
 	lingerTime = 200 * time.Millisecond
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -202,7 +202,7 @@
 	case errors.As(err, new(*message.Error)):
 		return turnedAway(err)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		if c.limit.N == HeaderMost {
+		if c.limit.N == HeaderMost && (c.r == nil || c.r.Buffered() == 0) {
 			return nil
 		}
 		code = http.StatusRequestTimeout
--- a/internal/front/http1/whole.go
+++ b/internal/front/http1/whole.go
@@ -248,37 +248,34 @@
 func (w *answering) submit(k *core.Call, out *upstream.Request) bool {
 	c, stream := w.c, out.Stream
 	w.stream = stream
-	var gone <-chan error
-	if stream == nil && c.r.Buffered() == 0 {
-		gone = c.watch()
+	client := c.newWatch(stream == nil)
+	if client.left() { // while it waited to be read: nothing of it is to go anywhere
+		w.f.over(w.noted, k.In.Class, nil, 0, 0)
+		return false
 	}
+	client.begin()
 	w.f.o.Core.Submit(k)
 	var a engine.Answer
 	for waiting := true; waiting; {
 		select {
 		case a = <-k.Answer:
 			waiting = false
-		case err := <-gone:
-			if gone = nil; err == nil && w.plain {
-				if b, _ := c.r.Peek(c.r.Buffered()); !mayBegin(b) {
-					w.f.over(w.noted, k.In.Class, nil, 0, 0)
-					w.f.o.Core.Leave(k)
-					c.turnAway(newResponse(http.StatusBadRequest, surplus))
-					return false
-				}
-			}
-			if err != nil {
-				w.f.over(w.noted, k.In.Class, nil, 0, 0)
-				w.f.o.Core.Leave(k)
+		case <-client.more:
+			// The client has sent the beginning of its next request, as it may (RFC 9112 section 9.3.2).
+			if w.plain && !mayBegin(client.behind) {
+				w.leave(k, client)
+				c.turnAway(newResponse(http.StatusBadRequest, surplus))
 				return false
 			}
-			// The client has sent the beginning of its next request, as it may (RFC 9112 section 9.3.2).
+		case <-client.gone:
+			w.leave(k, client)
+			if stream != nil && !stream.Take() {
+				<-stream.Over() // the attempt reads the client until it ends
+			}
+			return false
 		}
 	}
-	if gone != nil {
-		c.SetReadDeadline(past)
-		<-gone
-	}
+	client.end()
 	// From here on no attempt may begin to read the client: one that was told to go may be about to.
 	attempted := stream != nil && !stream.Take()
 	if stream != nil && !attempted {
@@ -296,6 +293,13 @@
 	return keep
 }
 
+// leave tells that the client has gone, or is to go.
+func (w *answering) leave(k *core.Call, client *watch) {
+	w.f.over(w.noted, k.In.Class, nil, 0, 0)
+	w.f.o.Core.Leave(k)
+	client.end()
+}
+
 // answer gives the final answer, and says whether the connection may serve another request.
 func (w *answering) answer(a engine.Answer) bool {
 	if a.Verdict != engine.Served && w.stream != nil {
