Let a connection rest after an answer, and end a withdrawn attempt's sending before the next

Cause, by reading internal/upstream and forced by tests: - Get handed out the connection used last at once.

Change: a connection rests for 25 ms after an answer; what comes meanwhile shows, and it is not used again. Of those that have rested the one used last is taken, else a new one; where a new one was of no use within the last second, or none may be opened, the one that has rested for longest is waited for. An attempt notes how to end its sending (core.Try.Hold, LetGo): Withdraw ends it there and then, before the balancer hears of the outcome, and the connection has one owner at each instant. A read's deadline that was left over from an error's body made the next look take a sound connection for a dead one; it is taken back.

Measured: TestLateSecondAnswer (both ways of reading; "x" served for "2" at once), TestSendingEndsBeforeTheNext fail without the change; TestRestingIsWaitedForAtAFullEndpoint and TestEndpointFullOfConnections hold the other side. What remains: a second answer more than 25 ms late, if a request was written meanwhile; nothing in the protocol tells it apart.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,6 +49,12 @@
 	// MayGo is asked last, right before the first byte; if it says no, nothing goes out and the reply is Moot.
 	MayGo func(now balancer.Micros) bool
 
+	// Hold is told how to end the sending at once, without waiting, before MayGo is asked; if it says no the attempt has been
+	// withdrawn. LetGo is told once nothing is sent or read any more, and says whether the sending was not ended: only then may
+	// what it was sent on be used again. nil is nobody who withdraws.
+	Hold  func(end func()) bool
+	LetGo func() bool
+
 	// Began is asked when an answer has begun that is too large to be held (engine.Engine.Began).
 	Began func(r engine.Reply) bool
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -309,3 +310,51 @@
 		x.sync(t)
 	}
 }
+
+// The sending of an attempt whose time is up has ended before anything else is done for its request, an answer or another
+// attempt, however long whoever makes the attempt takes to notice: no two are out where two may not be.
+func TestSendingEndsBeforeTheNext(t *testing.T) {
+	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	x := p.core
+	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ended atomic.Bool
+	over := make(chan struct{})
+	defer close(over)
+	c := p.call(t, client, "1", nil)
+	c.In.Deadline = x.config.Clock.Now() + 50_000
+	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
+		if try.Hold(func() { ended.Store(true) }) {
+			try.MayGo(x.config.Clock.Now())
+		}
+		<-over // it notices nothing
+		return engine.Reply{Status: balancer.Reset, At: x.config.Clock.Now()}
+	}
+	x.Submit(c)
+	peer.Within(t, c.Answer, "answer")
+	if !ended.Load() {
+		t.Error("answered while the attempt was still being sent")
+	}
+}
+
+// A connection belongs to whoever comes first: one that is let go is not ended any more, one that was ended is not let go.
+func TestOneEndsTheSending(t *testing.T) {
+	var l line
+	if !l.hold(func() { t.Error("ended after it was let go") }) || !l.letGo() {
+		t.Error("not held, or not let go")
+	}
+	l.sever()
+	if l.hold(func() {}) {
+		t.Error("held after the end")
+	}
+	ends := 0
+	var other line
+	other.hold(func() { ends++ })
+	other.sever()
+	other.sever()
+	if other.letGo() || ends != 1 {
+		t.Errorf("let go after the end, or ended %d times", ends)
+	}
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,9 +17,43 @@
 type sending struct {
 	began  time.Time
 	gate   gate
+	line   line
 	cancel context.CancelFunc
 }
 
+// line is what an attempt is sent on. Whoever withdraws the attempt ends the sending on it before anything else goes out for its
+// request, so that no two are out where two may not be; whoever lets go of it first keeps what it was.
+type line struct {
+	mu  sync.Mutex
+	end func()
+	cut bool
+}
+
+// hold notes how to end the sending, which must not wait. It says no if that is to be ended already.
+func (l *line) hold(end func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = end
+	return !l.cut
+}
+
+// letGo says that the sending is over, and whether nobody has ended it.
+func (l *line) letGo() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = nil
+	return !l.cut
+}
+
+func (l *line) sever() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut = true; l.end != nil {
+		l.end()
+		l.end = nil
+	}
+}
+
 // gate decides once whether an attempt's first byte goes out.
 type gate struct{ state atomic.Int32 }
 
@@ -53,7 +88,7 @@
 			return e.MaySend(now) && now < deadline && s.gate.pass()
 		}, Began: func(r engine.Reply) bool {
 			return ask(x, func(now balancer.Micros) bool { return x.engine.Began(now, a, r) })
-		}, Heard: func() { x.post(func(now balancer.Micros) { x.engine.Heard(now, a) }) }})
+		}, Hold: s.line.hold, LetGo: s.line.letGo, Heard: func() { x.post(func(now balancer.Micros) { x.engine.Heard(now, a) }) }})
 		x.post(func(now balancer.Micros) { x.engine.Ended(now, a, r) })
 	}()
 }
@@ -67,6 +102,7 @@
 // Withdraw ends an attempt.
 func (h *host) Withdraw(a *engine.Attempt) {
 	if s, started := a.Host.(*sending); started {
+		s.line.sever()
 		s.cancel()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,7 +143,7 @@
 		}
 	}
 	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(sockets(c)),
-		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive,
+		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive, Settle: upstream.SettleTime,
 		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
 	w := s.watcher(c.Discovery, c.Known.Generation)
 	s.watcher1 = w
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,7 +44,7 @@
 	if c == nil {
 		return p.ended(status)
 	}
-	return p.exchange(ctx, c, m.bytes(left), &p.relayed)
+	return p.exchange(ctx, c, m.bytes(left), &p.relayed, func(keep bool) { p.release(c, t, keep) })
 }
 
 // ready returns a connection for an attempt that may go now, and the milliseconds that are left for it; or none, and
@@ -54,15 +54,38 @@
 	if err != nil {
 		return nil, 0, p.NoConn(ctx, err)
 	}
+	if t.Hold != nil && !t.Hold(c.endSending) {
+		p.release(c, t, true)
+		return nil, 0, balancer.Moot
+	}
 	now := p.o.Clock.Now()
 	leftMs = (t.Deadline - now) / 1000
 	if leftMs < 1 || !t.MayGo(now) {
-		p.Put(c)
+		p.release(c, t, true)
 		return nil, 0, balancer.Moot
 	}
 	return c, leftMs, balancer.OK
 }
 
+// release ends an attempt's use of a connection, which may be kept if all on it is over and nobody has ended the sending on it.
+func (p *Pool) release(c *Conn, t *core.Try, keep bool) {
+	if t.LetGo != nil && !t.LetGo() {
+		keep = false
+	}
+	if keep {
+		p.Put(c)
+	} else {
+		p.Discard(c)
+	}
+}
+
+// endSending tells the endpoint that nothing of what was sent is waited for any more, without waiting for whoever reads.
+func (c *Conn) endSending() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+}
+
 // Probe asks an endpoint for its load, or for its health where there are no load reports.
 func (to *Target) Probe() engine.Reply {
 	p := to.pool
@@ -76,7 +99,13 @@
 	if len(p.o.Fields) > 0 {
 		m.URI = "/-/load"
 	}
-	r := p.exchange(ctx, c, m.bytes(0), nil)
+	r := p.exchange(ctx, c, m.bytes(0), nil, func(keep bool) {
+		if keep {
+			p.Put(c)
+		} else {
+			p.Discard(c)
+		}
+	})
 	if r.Status == balancer.OK && len(p.o.Fields) > 0 {
 		r.Load = parseLoad(p.o.Fields, string(r.Answer.(*Answer).Body))
 	}
@@ -87,15 +116,17 @@
 	return engine.Reply{Status: status, At: p.o.Clock.Now()}
 }
 
-// exchange writes a request and reads its answer. The connection is kept if both are whole. A request that is written whole
-// is counted.
-func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64) engine.Reply {
+// exchange writes a request and reads its answer. The connection is released, and kept if both are whole. A request that is
+// written whole is counted.
+func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.Reply {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	c.limit.N = answerMost
 	n, err := c.Write(text)
 	if err != nil {
-		stop()
-		p.Discard(c)
+		if stop() {
+			p.unheard(c)
+		}
+		release(false)
 		if n < len(text) {
 			return p.ended(balancer.ConnectFailed) // its last byte was not written, so it never ran
 		}
@@ -106,11 +137,10 @@
 	}
 	a, err := c.read()
 	r := p.ended(balancer.Reset)
-	if !stop() || err != nil || a.last || c.r.Buffered() > 0 {
-		p.Discard(c)
-	} else {
-		p.Put(c)
+	if err != nil && ctx.Err() == nil {
+		p.unheard(c)
 	}
+	release(stop() && err == nil && !a.last && c.r.Buffered() == 0)
 	if err != nil {
 		return r
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,6 +30,7 @@
 	DialTimeout time.Duration // 0 is that of a probe
 	KeepAlive   time.Duration // an endpoint closes a connection that has been idle for so long
 	Most        int           // connections open or being opened
+	Settle      time.Duration // for which a connection rests after an answer: a second one may follow; 0 is not at all
 	Fields      []string      // of a load report
 	OnAnswers   bool          // answers carry load reports, too
 
@@ -79,7 +80,8 @@
 
 	// Guarded by Pool.mu.
 	idle []*Conn
-	gone bool // nothing new goes there
+	gone bool      // nothing new goes there
+	full time.Time // when a new connection was last of no use; it may hold all that it accepts
 }
 
 // Target returns a new target for an address.
@@ -91,7 +93,7 @@
 	limit io.LimitedReader // what may still be read
 	r     *bufio.Reader
 	to    *Target
-	idle  time.Time // since when
+	idle  time.Time // since when; zero before its first use
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
@@ -128,43 +130,107 @@
 	return balancer.ConnectFailed
 }
 
-// Get returns the idle connection used last, since the others may then grow old, or a new one.
+// SettleTime is how long a connection rests after an answer. A second one may come some milliseconds late: what was written to
+// the connection meanwhile would be answered by it. A rest of this length shows such an answer, and the connection is
+// not used again. One that comes later still is only shown if nothing was written in between.
+const SettleTime = 25 * time.Millisecond
+
+// fullFor is how long after a new connection was of no use a resting one is waited for instead of trying another.
+const fullFor = time.Second
+
+// Get returns the idle connection used last of those that have rested, since the others may then grow old, or a new one. Where
+// none can be had, one that still rests is waited for.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
+	for {
+		c, wait, err := p.get(ctx, to)
+		if c == nil || wait <= 0 {
+			return c, err
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			p.Discard(c)
+			return nil, ctx.Err()
+		}
+		p.mu.Lock()
+		gone, usable := to.gone, p.usable(c)
+		if gone || !usable {
+			p.closeLocked(c)
+		}
+		p.mu.Unlock()
+		switch {
+		case gone:
+			return nil, errGone
+		case usable:
+			return c, nil
+		}
+	}
+}
+
+// get returns a connection, and for how long it still has to rest.
+func (p *Pool) get(ctx context.Context, to *Target) (c *Conn, wait time.Duration, err error) {
 	p.mu.Lock()
-	for !to.gone && len(to.idle) > 0 {
-		c := p.popLocked(to, len(to.idle)-1)
+	for i := len(to.idle) - 1; i >= 0 && !to.gone; i-- {
+		if p.o.Settle > 0 && time.Since(to.idle[i].idle) < p.o.Settle {
+			continue
+		}
+		c := p.popLocked(to, i)
 		if p.usable(c) {
 			p.mu.Unlock()
-			return c, nil
+			return c, 0, nil
 		}
 		p.closeLocked(c)
 	}
-	err := error(nil)
 	switch {
 	case to.gone:
 		err = errGone
+	case len(to.idle) > 0 && time.Since(to.full) < fullFor:
+		c, wait = p.restingLocked(to)
+	case p.conns >= p.o.Most && len(to.idle) > 0:
+		c, wait = p.restingLocked(to)
 	case p.conns >= p.o.Most && !p.evictLocked(): // descriptors must not run out: one idle elsewhere makes room
 		err = errNoRoom
 	default:
 		p.conns++
 	}
 	p.mu.Unlock()
-	if err != nil {
-		return nil, err
+	if c != nil || err != nil {
+		return c, wait, err
 	}
 	nc, err := p.o.Dial(ctx, "tcp", to.addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		p.conns--
-		return nil, err
+		if ctx.Err() == nil && !to.gone {
+			if to.full = time.Now(); len(to.idle) > 0 {
+				c, wait = p.restingLocked(to)
+				return c, wait, nil
+			}
+		}
+		return nil, 0, err
 	}
-	c := newConn(nc, to)
+	c = newConn(nc, to)
 	if to.gone {
 		p.closeLocked(c) // another may listen there by now
-		return nil, errGone
+		return nil, 0, errGone
+	}
+	return c, 0, nil
+}
+
+// restingLocked takes out the connection that has rested for longest, and returns for how long it still has to.
+func (p *Pool) restingLocked(to *Target) (*Conn, time.Duration) {
+	c := p.popLocked(to, 0)
+	return c, max(time.Nanosecond, p.o.Settle-time.Since(c.idle))
+}
+
+// unheard notes that nothing was heard on a connection. If it was new, its endpoint may accept no more of them.
+func (p *Pool) unheard(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idle.IsZero() {
+		c.to.full = time.Now()
 	}
-	return c, nil
 }
 
 func (p *Pool) usable(c *Conn) bool { return time.Since(c.idle) < p.idleMost && c.alive() }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -519,3 +519,93 @@
 		t.Errorf("a quarter of a connection: %d for %v, want one for %v", u.restMost, u.idleMost, whole/4)
 	}
 }
+
+// An endpoint may answer twice, some milliseconds apart. What is written to the connection in between would be answered by the
+// second: so the connection rests first, and one on which more came is not used again. Both ways of reading answers hold to it.
+func TestLateSecondAnswer(t *testing.T) {
+	for name, send := range map[string]func(u *Pool, to core.Target) (balancer.Status, string){
+		"exchange": func(u *Pool, to core.Target) (balancer.Status, string) {
+			r := u.try(plainGet(), to)
+			a, _ := r.Answer.(*Answer)
+			if a == nil {
+				return r.Status, ""
+			}
+			return r.Status, string(a.Body)
+		},
+		"whole": func(u *Pool, to core.Target) (balancer.Status, string) {
+			r := u.SendWhole(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }},
+				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
+			a, _ := r.Answer.(*Whole)
+			if a == nil {
+				return r.Status, ""
+			}
+			return r.Status, string(a.Held)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const settle = 300 * time.Millisecond // long beside a pause of the machine
+			u := newPool(func(o *Options) { o.Settle = settle })
+			var conns atomic.Int32
+			to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				mine := conns.Add(1)
+				for first := true; ; first = false {
+					if _, err := peer.Take(r); err != nil {
+						return
+					}
+					io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", mine))
+					if first && mine == 1 {
+						// The second copy comes when the next request has, or after a while.
+						c.SetReadDeadline(time.Now().Add(settle / 3))
+						r.Peek(1)
+						c.SetReadDeadline(time.Time{})
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+					}
+				}
+			}))
+			for i, want := range []string{"1", "2"} {
+				if status, got := send(u, to); status != balancer.OK || got != want {
+					t.Fatalf("request %d: status %v, %q, want %q", i, status, got, want)
+				}
+			}
+			time.Sleep(settle) // what has rested is used again, unless more came on it: time is what this is about
+			if status, got := send(u, to); status != balancer.OK || got != "2" {
+				t.Errorf("then: status %v, %q, want the connection on which nothing more came", status, got)
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if u.conns != len(to.idle) {
+				t.Errorf("%d connections open, %d at rest", u.conns, len(to.idle))
+			}
+		})
+	}
+}
+
+// An endpoint that accepts no more connections is not asked for another while one rests there: that one is waited for.
+func TestRestingIsWaitedForAtAFullEndpoint(t *testing.T) {
+	var tried atomic.Int32
+	u := newPool(func(o *Options) {
+		o.Settle = 100 * time.Millisecond
+		o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if tried.Add(1) > 1 {
+				return nil, syscall.ECONNREFUSED
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}
+	})
+	to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := peer.Take(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	for i := range 4 {
+		if r := u.try(plainGet(), to); r.Status != balancer.OK {
+			t.Fatalf("request %d: status %v", i, r.Status)
+		}
+	}
+	if n := tried.Load(); n != 2 {
+		t.Errorf("%d connections asked for, want the first and one more", n)
+	}
+}
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -170,7 +170,7 @@
 		return p.ended(status)
 	}
 	if q.Stream != nil && !q.Stream.Take() {
-		p.Put(c)
+		p.release(c, t, true)
 		return p.ended(balancer.Moot)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
@@ -184,11 +184,8 @@
 		q.Stream.finish(e)
 		keep = keep && q.Stream.Body.Done()
 	}
-	if stop() && keep && c.r.Buffered() == 0 {
-		p.Put(c)
-	} else {
-		p.Discard(c)
-	}
+	c.SetReadDeadline(time.Time{}) // of a part that was waited for
+	p.release(c, t, stop() && keep && c.r.Buffered() == 0)
 	return r
 }
 
@@ -211,6 +208,9 @@
 	c.limit.N = answerHeadMost
 	c.SetDeadline(time.Time{})
 	n, err := c.Write(text)
+	if err != nil && ctx.Err() == nil {
+		p.unheard(c)
+	}
 	switch {
 	case err != nil && n < len(text):
 		// Its last byte was not written, so it never ran, unless an endpoint begins with half a body.
@@ -234,6 +234,9 @@
 		}()
 	}
 	a, last, err := e.head()
+	if err != nil && ctx.Err() == nil {
+		p.unheard(c)
+	}
 	e.mu.Lock()
 	e.answered = true
 	e.mu.Unlock()
