Serve what waits as a sidecar stops: the listener's queue, requests behind one another, late heads

Cause, by reading internal/sidecar/course.go and internal/front/http1 and forced by tests: - drain closed the listener 550 ms after SIGTERM with whatever the kernel had accepted and Accept had not: all of it was reset. - each answer closed its connection from SIGTERM on, also where the client had sent its next requests whole behind it: they were lost, and closing on unread bytes could take the answer itself away. - a head may take 2.5 s: a request that was whole late had its own deadline from there, past the platform's SIGKILL (longest deadline and 0.7 s), and was found unanswered. - a first byte that came at the instant at which a connection's time was up was closed upon.

Change: the accept queue is emptied before the listener is closed, and poll tells that it is. While stopping, an answer behind which a next request has come does not close; the last one does, and lingers where more came as it went. Requests that are taken while stopping end by 0.5 s after the longest deadline, and a head that is not whole by then is not waited for. Where a wait ends by its deadline it is looked once more whether something has come. A probe may go where a second answer may still come, since its report shows whose answer it is: it leaves the connections that have rested to requests.

Measured: TestStopServesTheQueue (all five reset), TestStopBetweenPipelinedRequests (answers 1 and 2 lost) and TestStopEndsInTime (1.9 s where SIGKILL may come at 1.7 s) fail without the change, and pass with it.

--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -12,8 +12,11 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/conns"
 	"dunlinsail/internal/decide/shares"
@@ -81,6 +84,7 @@
 const (
 	acceptWaitLeast = 5 * time.Millisecond
 	acceptWaitMost  = time.Second
+	restWait        = 5 * time.Millisecond
 )
 
 // Identify tells whose connection one is. gone is called once the connection has ended; it may be nil. A
@@ -112,6 +116,44 @@
 	}
 }
 
+// acceptRest serves the connections that wait in ln's queue, and returns once there is none: closing ln would reset them, with
+// what their clients have sent. Nobody else may accept meanwhile.
+func (k *connections) acceptRest(ln net.Listener, identify Identify) {
+	bounded, ok := ln.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return
+	}
+	for {
+		bounded.SetDeadline(time.Now().Add(restWait)) // what waits is taken without waiting
+		nc, err := ln.Accept()
+		switch {
+		case err == nil:
+			k.add(nc, identify)
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !queued(ln):
+			return // else we did not come to it within the deadline
+		}
+	}
+}
+
+// queued says whether a connection waits to be accepted.
+func queued(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	some := false
+	raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		some = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	})
+	return some
+}
+
 // add takes a connection in, if it may be.
 func (k *connections) add(nc net.Conn, identify Identify) {
 	client, gone, err := identify(nc)
@@ -214,14 +256,15 @@
 	return k.table.Hold(c.place, n, must)
 }
 
-// rest notes that a request has its answer, and says whether the connection may stay open.
+// rest notes that a request has its answer, and says whether the connection may stay open. While all are to close it may for
+// a next request that has come, or begun to.
 func (k *connections) rest(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c.in.rest(c.r != nil && c.r.Buffered() > 0)
 	k.closeLocked(k.table.Rest(k.clock.Now(), c.place))
 	k.expireLocked()
-	return !k.closing
+	return !k.closing || !c.in.empty()
 }
 
 // cut closes all connections, those with open requests too.
@@ -286,11 +329,12 @@
 		err := c.readable()
 		k.mu.Lock()
 		// Whoever called may have been told meanwhile that nothing is to be handed over after all.
-		again := c.called && errors.Is(err, os.ErrDeadlineExceeded)
+		late := errors.Is(err, os.ErrDeadlineExceeded)
+		again := c.called && late
 		c.parked, c.called = false, false
 		k.mu.Unlock()
 		if !again {
-			return err == nil
+			return err == nil || late && !c.in.empty() // it has come as its time was up
 		}
 	}
 }
@@ -361,6 +405,12 @@
 // read for a little, since closing on unread bytes would take the answer away from it again.
 func (c *conn) turnAway(r *response) {
 	c.write(r, true)
+	c.linger()
+}
+
+// linger ends the use of a connection on which something may still be coming: closing on unread bytes would take the answer
+// away from the client.
+func (c *conn) linger() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/conns"
@@ -62,6 +63,7 @@
 	o       Options
 	conns   *connections
 	closing atomic.Bool
+	endBy   atomic.Int64           // requests have their answers by this instant; 0 is by their own only
 	routes  atomic.Pointer[Routes] // nil is PROTOCOL
 	counts  counts
 	ways    []Route // of PROTOCOL's requests, by class
@@ -126,6 +128,9 @@
 // Accept serves connections until ln is closed, or until a deadline that was set on it.
 func (f *Front) Accept(ln net.Listener, identify Identify) error { return f.conns.accept(ln, identify) }
 
+// AcceptRest serves the connections that wait in ln's queue; Accept must have ended. What comes after it returns waits on.
+func (f *Front) AcceptRest(ln net.Listener, identify Identify) { f.conns.acceptRest(ln, identify) }
+
 // Adopt serves a connection that another process has handed over.
 func (f *Front) Adopt(nc net.Conn, identify Identify) { f.conns.add(nc, identify) }
 
@@ -141,6 +146,21 @@
 	f.conns.hush()
 }
 
+// EndBy has each request that is taken from now on answered by an instant: the process ends then, whatever is open.
+func (f *Front) EndBy(at balancer.Micros) { f.endBy.Store(at) }
+
+// closes says whether an answer that is to be written now is the last on its connection. While all are to close, those whose
+// client has sent a next request, or begun to, are answered once more, as long as there is time for it: what came whole
+// must not be lost.
+func (f *Front) closes(c *conn) bool {
+	if !f.closing.Load() {
+		return false
+	}
+	by := f.endBy.Load()
+	waiting := c.r != nil && c.r.Buffered() > 0 || !c.in.empty()
+	return !waiting || by > 0 && f.o.Clock.Now() >= by
+}
+
 // Wait waits until no connection is served, or ctx ends.
 func (f *Front) Wait(ctx context.Context) error { return f.conns.wait(ctx) }
 
@@ -153,9 +173,18 @@
 // talk serves a connection, one request at a time.
 func (f *Front) talk(c *conn) {
 	until := time.Now().Add(RequestTime)
-	for f.conns.park(c, until) && f.exchange(c, until) {
+	for f.conns.park(c, until) {
+		if !until.IsZero() && !time.Now().Before(until) {
+			until = time.Time{} // its first byte came in time
+		}
+		if !f.exchange(c, until) {
+			break
+		}
 		until = time.Time{}
 	}
+	if f.closing.Load() && !c.in.empty() {
+		c.linger() // more came as the last answer went
+	}
 }
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
@@ -165,6 +194,11 @@
 	if until.IsZero() {
 		until = time.Now().Add(RequestTime)
 	}
+	if by := f.endBy.Load(); by > 0 { // a request that is not whole by then has no time left
+		if at := time.Now().Add(clock.Duration(by - f.o.Clock.Now())); at.Before(until) {
+			until = at
+		}
+	}
 	c.SetReadDeadline(until)
 	routes := f.routes.Load()
 	var also map[string]bool
@@ -183,7 +217,7 @@
 		if f.closing.Load() || !f.o.Core.Ready() {
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
-		last := r.Close || f.closing.Load()
+		last := r.Close || f.closes(c)
 		return f.conns.take(c) && c.write(a, last) && f.conns.rest(c) && !last
 	}
 	if routes != nil {
--- a/internal/front/http1/whole.go
+++ b/internal/front/http1/whole.go
@@ -96,6 +96,9 @@
 		k.Spent, k.In.Upload = s.Taken, true
 		k.In.Deadline = k.Arrived + rt.Whole.Microseconds()
 	}
+	if by := f.endBy.Load(); by > 0 {
+		k.In.Deadline = min(k.In.Deadline, by)
+	}
 	in := int64(len(out.Body))
 	if framing.Kind == message.Sized {
 		in = framing.Length
@@ -288,7 +291,7 @@
 		keep = keep && stream.Body.Done()
 	}
 	if stream != nil && !keep {
-		w.linger()
+		w.c.linger()
 	}
 	return keep
 }
@@ -339,7 +342,7 @@
 	if status != "" {
 		r.header.Set("Proxy-Status", w.agent+"; error="+status+"; details="+strconv.Quote(strings.TrimSpace(string(r.body))))
 	}
-	w.last = w.last || w.f.closing.Load()
+	w.last = w.last || w.f.closes(w.c)
 	if w.q.Method == http.MethodHead {
 		return w.c.writeHead(r, w.last) && w.f.conns.rest(w.c) && !w.last
 	}
@@ -362,23 +365,13 @@
 	return false
 }
 
-// linger ends the use of a connection on which a body may still be coming: closing on unread bytes would take the
-// answer away from the client.
-func (w *answering) linger() {
-	if half, ok := w.c.Conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-	w.c.SetReadDeadline(time.Now().Add(lingerTime))
-	io.CopyN(io.Discard, w.c.Conn, lingerMost)
-}
-
 // pass gives an endpoint's answer.
 func (w *answering) pass(a *upstream.Whole) bool {
 	w.status, w.length = a.Code, int64(len(a.Held))
 	if a.Rest != nil {
 		w.length = -1
 	}
-	w.last = w.last || w.f.closing.Load()
+	w.last = w.last || w.f.closes(w.c)
 	if a.Rest != nil {
 		defer a.Rest.End()
 	}
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -15,6 +15,7 @@
 	"dunlinsail/internal/decide/bans"
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/platform"
 	"dunlinsail/internal/takeover"
 )
 
@@ -26,6 +27,10 @@
 	// drainTime bounds what is open when another process serves, or none is to: longer than any request's time, and than
 	// most answers that stream. The platform kills the process before that.
 	drainTime = 30 * time.Second
+	// killAfter is how long after the longest deadline, longestMost at most, all has to be answered: the platform kills the process
+	// 0.7 s after it.
+	killAfter   = 500 * time.Millisecond
+	longestMost = 3 * time.Second
 	// settleTime is how long a giver outlives its word that the taker is to accept, with nothing left to do: should the taker end
 	// in that step, it serves on. The platform leaves it 0.7 s.
 	settleTime = 500 * time.Millisecond
@@ -119,6 +124,14 @@
 	l.loop.Beside.Wait()
 }
 
+// longest is the longest time that a client waits.
+func longest(c *platform.Config) (d time.Duration) {
+	for _, class := range c.Site.Settings.Classes {
+		d = max(d, clock.Duration(class.GiveUp))
+	}
+	return d
+}
+
 func now() decide.Micros { return takeover.Monotonic() }
 
 func (l *course) end(err error) {
@@ -307,7 +320,7 @@
 }
 
 func (l *course) setDeadline(t time.Time) {
-	if ln, ok := l.ln.(*net.TCPListener); ok {
+	if ln, ok := l.ln.(interface{ SetDeadline(time.Time) error }); ok {
 		ln.SetDeadline(t)
 	}
 }
@@ -439,6 +452,7 @@
 	l.s.log.Info("stopping")
 	l.s.accepting.Store(false)
 	l.s.front.Release(nil)
+	l.s.front.EndBy(l.s.clock.Now() + clock.Micros(min(longestMost, longest(l.s.config))+killAfter))
 	l.s.front.Quiesce()
 	if l.takeLn != nil {
 		l.takeLn.Close()
@@ -448,6 +462,8 @@
 		l.s.accepting.Store(false)
 	}
 	l.loop.After(acceptFor, func() {
+		l.pause()
+		l.s.front.AcceptRest(l.ln, l.s.identify)
 		l.ln.Close()
 		// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
 		l.s.front.Quiesce()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -107,6 +107,7 @@
 // sidecar is what assemble put together.
 type sidecar struct {
 	config *platform.Config
+	clock  clock.Clock
 	log    *slog.Logger
 	pool   *upstream.Pool
 	core   *core.Core
@@ -128,7 +129,7 @@
 func assemble(c *platform.Config, dial func(ctx context.Context, network, addr string) (net.Conn, error),
 	log *slog.Logger) (*sidecar, error) {
 	clk := clock.New()
-	s := &sidecar{config: c, log: log}
+	s := &sidecar{config: c, clock: clk, log: log}
 	var observe engine.Observer
 	if c.Events != nil {
 		s.events = events.NewLog(c.Events, clk.Now)
--- /dev/null
+++ b/internal/sidecar/stop_test.go
@@ -0,0 +1,226 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/standin/peer"
+)
+
+// gated is a listener whose Accept waits, once it is shut, until a deadline is set or it is closed: whoever connects until then
+// is in the kernel's queue.
+type gated struct {
+	*net.TCPListener
+	mu   sync.Mutex
+	shut chan struct{} // closed: open
+}
+
+func (l *gated) gate() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shut
+}
+
+func (l *gated) hold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shut = make(chan struct{})
+}
+
+func (l *gated) open() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.shut != nil {
+		close(l.shut)
+		l.shut = nil
+	}
+}
+
+func (l *gated) Accept() (net.Conn, error) {
+	for {
+		c, err := l.TCPListener.Accept()
+		gate := l.gate()
+		if gate == nil {
+			return c, err
+		}
+		if err == nil {
+			c.Close() // the one that it was waiting for as the gate was shut; it is the test's own
+		}
+		<-gate
+	}
+}
+
+func (l *gated) SetDeadline(t time.Time) error {
+	err := l.TCPListener.SetDeadline(t)
+	l.open()
+	return err
+}
+
+func (l *gated) Close() error {
+	err := l.TCPListener.Close()
+	l.open()
+	return err
+}
+
+// serveOn runs a sidecar on a listener of the test's own.
+func serveOn(t *testing.T, s *sidecar, ln net.Listener) *running {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{parts: s, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1)}
+	go func() {
+		r.ended <- s.serve(ctx, ln, nil, nil)
+		close(r.ended)
+	}()
+	t.Cleanup(func() { stop(); <-r.ended })
+	peer.Eventually(t, "ready", func() bool {
+		resp, err := http.Get("http://" + r.addr + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	return r
+}
+
+// What waits in the listener's queue as it is closed is served: the kernel has accepted it.
+func TestStopServesTheQueue(t *testing.T) {
+	addr := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	parts, err := assemble(configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}), nil, peer.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &gated{TCPListener: inner.(*net.TCPListener)}
+	s := serveOn(t, parts, ln)
+	s.ask(t, look(900)) // it learns how fast the endpoint is
+	ln.hold()
+	if c, err := net.Dial("tcp", s.addr); err == nil { // takes the place of the one that was waited for
+		c.Read(make([]byte, 1))
+		c.Close()
+	}
+	const many = 5
+	var conns []net.Conn
+	for range many {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, sent(t, look(900)))
+		conns = append(conns, c)
+	}
+	s.stop()
+	for i, c := range conns {
+		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 || !resp.Close { // more than one at once may be turned away
+			t.Errorf("connection %d: %v, %v", i, resp, err)
+		}
+	}
+	if err := peer.Within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// What a client has sent whole behind a request that is open as the order to stop comes is answered, too, and the last answer
+// closes. The one before does not, and is not taken away by a reset.
+func TestStopBetweenPipelinedRequests(t *testing.T) {
+	taken, release := make(chan struct{}, 4), make(chan struct{})
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		taken <- struct{}{}
+		<-release
+		io.WriteString(w, "ok")
+	})
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, sent(t, look(900)))
+	peer.Within(t, taken, "first attempt")
+	io.WriteString(c, sent(t, look(900))+sent(t, look(900)))
+	s.stop()
+	peer.Eventually(t, "all are to close", func() bool {
+		resp, err := http.Get("http://" + s.addr + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	close(release)
+	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	r := bufio.NewReader(c)
+	for i := range 3 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != 200 || resp.Close != (i == 2) {
+			t.Errorf("answer %d: %s, close %v", i, resp.Status, resp.Close)
+		}
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last: %v", err)
+	}
+	if err := peer.Within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// However long a request that is whole late could take, all is answered before the platform kills the process, 0.7 s after the
+// longest deadline; clients that go on sending do not keep it open. Attempts hang at the only endpoint.
+func TestStopEndsInTime(t *testing.T) {
+	var taken atomic.Int32
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := peer.Take(r); err != nil {
+				return
+			}
+			taken.Add(1)
+		}
+	})
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
+	io.WriteString(c, text[:len(text)-1])
+	peer.Eventually(t, "it has begun", func() bool { all, _ := s.parts.front.Conns(); return all > 0 })
+	begun := time.Now()
+	s.stop()
+	late := time.AfterFunc(900*time.Millisecond, func() { io.WriteString(c, text[len(text)-1:]) }) // its time would end at 1.9 s
+	defer late.Stop()
+	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
+	if took := time.Since(begun); took > killed || taken.Load() != 1 || resp.StatusCode != 504 {
+		t.Errorf("%s after %v, with %d attempts", resp.Status, took, taken.Load())
+	}
+	if err := peer.Within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if took := time.Since(begun); took > killed {
+		t.Errorf("ended after %v", took)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -55,13 +55,13 @@
 		return nil, 0, p.NoConn(ctx, err)
 	}
 	if t.Hold != nil && !t.Hold(c.endSending) {
-		p.release(c, t, true)
+		p.unused(c, t)
 		return nil, 0, balancer.Moot
 	}
 	now := p.o.Clock.Now()
 	leftMs = (t.Deadline - now) / 1000
 	if leftMs < 1 || !t.MayGo(now) {
-		p.release(c, t, true)
+		p.unused(c, t)
 		return nil, 0, balancer.Moot
 	}
 	return c, leftMs, balancer.OK
@@ -79,6 +79,15 @@
 	}
 }
 
+// unused ends an attempt's use of a connection on which nothing was written.
+func (p *Pool) unused(c *Conn, t *core.Try) {
+	if t.LetGo != nil && !t.LetGo() {
+		p.Discard(c)
+		return
+	}
+	p.put(c, c.answered)
+}
+
 // endSending tells the endpoint that nothing of what was sent is waited for any more, without waiting for whoever reads.
 func (c *Conn) endSending() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -91,23 +100,28 @@
 	p := to.pool
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	c, err := p.Get(ctx, to)
+	// A probe may go where a second answer may still come: it is known by its report.
+	c, _, err := p.get(ctx, to, true)
 	if err != nil {
 		return p.ended(p.NoConn(ctx, err))
 	}
+	answered := c.answered
 	m := Message{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
 	if len(p.o.Fields) > 0 {
 		m.URI = "/-/load"
 	}
-	r := p.exchange(ctx, c, m.bytes(0), nil, func(keep bool) {
-		if keep {
-			p.Put(c)
-		} else {
-			p.Discard(c)
-		}
-	})
+	keep := false
+	r := p.exchange(ctx, c, m.bytes(0), nil, func(whole bool) { keep = whole })
 	if r.Status == balancer.OK && len(p.o.Fields) > 0 {
 		r.Load = parseLoad(p.o.Fields, string(r.Answer.(*Answer).Body))
+		keep = keep && r.Load != nil // else it was the answer to something else, perhaps, and its own may follow
+	} else {
+		answered = time.Now() // what tells nothing may have been another's
+	}
+	if keep {
+		p.put(c, answered)
+	} else {
+		p.Discard(c)
 	}
 	return r
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -94,6 +94,8 @@
 	r     *bufio.Reader
 	to    *Target
 	idle  time.Time // since when; zero before its first use
+
+	answered time.Time // when the last answer came that may be followed by a second one; zero is never
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
@@ -142,7 +144,7 @@
 // none can be had, one that still rests is waited for.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
-		c, wait, err := p.get(ctx, to)
+		c, wait, err := p.get(ctx, to, false)
 		if c == nil || wait <= 0 {
 			return c, err
 		}
@@ -167,11 +169,11 @@
 	}
 }
 
-// get returns a connection, and for how long it still has to rest.
-func (p *Pool) get(ctx context.Context, to *Target) (c *Conn, wait time.Duration, err error) {
+// get returns a connection, and for how long it still has to rest. Of those at rest any will do for who asks for it.
+func (p *Pool) get(ctx context.Context, to *Target, any bool) (c *Conn, wait time.Duration, err error) {
 	p.mu.Lock()
 	for i := len(to.idle) - 1; i >= 0 && !to.gone; i-- {
-		if p.o.Settle > 0 && time.Since(to.idle[i].idle) < p.o.Settle {
+		if !any && p.settlesFor(to.idle[i]) > 0 {
 			continue
 		}
 		c := p.popLocked(to, i)
@@ -220,8 +222,22 @@
 
 // restingLocked takes out the connection that has rested for longest, and returns for how long it still has to.
 func (p *Pool) restingLocked(to *Target) (*Conn, time.Duration) {
-	c := p.popLocked(to, 0)
-	return c, max(time.Nanosecond, p.o.Settle-time.Since(c.idle))
+	at := 0
+	for i, c := range to.idle {
+		if c.answered.Before(to.idle[at].answered) {
+			at = i
+		}
+	}
+	c := p.popLocked(to, at)
+	return c, max(time.Nanosecond, p.settlesFor(c))
+}
+
+// settlesFor returns for how long a connection still has to rest.
+func (p *Pool) settlesFor(c *Conn) time.Duration {
+	if p.o.Settle <= 0 {
+		return 0
+	}
+	return p.o.Settle - time.Since(c.answered)
 }
 
 // unheard notes that nothing was heard on a connection. If it was new, its endpoint may accept no more of them.
@@ -266,9 +282,13 @@
 }
 
 // Put gives back a connection on which nothing is out any more.
-func (p *Pool) Put(c *Conn) {
+func (p *Pool) Put(c *Conn) { p.put(c, time.Now()) }
+
+// put does so with the instant of the last answer that may be followed by a second one.
+func (p *Pool) put(c *Conn, answered time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.answered = answered
 	if c.to.gone || p.closed {
 		p.closeLocked(c)
 		return
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -170,7 +170,7 @@
 		return p.ended(status)
 	}
 	if q.Stream != nil && !q.Stream.Take() {
-		p.release(c, t, true)
+		p.unused(c, t)
 		return p.ended(balancer.Moot)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
