--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -61,7 +61,7 @@
 	}
 	d.clk = clk
 	n := &c.Connections
-	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints, Settle: upstream.SettleTime,
+	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
 		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers})
 	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log}
 	if path := c.Peers.SpentLog; path != "" {
--- a/internal/front/http1/conns_test.go
+++ b/internal/front/http1/conns_test.go
@@ -146,3 +146,42 @@
 		})
 	}
 }
+
+// While all are to close, an answer is the last on its connection unless more has come behind its request. What was read of the
+// request itself is nothing more, also where the answer is there before anybody has looked again.
+func TestClosesUnlessMoreHasCome(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	f := &Front{o: Options{Clock: clock.New()}}
+	c := &conn{Conn: server, in: newInlet(server)}
+	if f.closes(c) {
+		t.Error("closes while nothing is to")
+	}
+	f.closing.Store(true)
+	io.WriteString(client, "request")
+	if _, err := c.in.Read(make([]byte, 7)); err != nil {
+		t.Fatal(err)
+	}
+	if !f.closes(c) {
+		t.Error("the request itself was taken for a next one")
+	}
+	io.WriteString(client, "next")
+	peer.Eventually(t, "the next has come", func() bool { return !f.closes(c) })
+	f.endBy.Store(f.o.Clock.Now())
+	if !f.closes(c) {
+		t.Error("a next one is waited for when there is no time left")
+	}
+}
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -157,8 +157,8 @@
 		return false
 	}
 	by := f.endBy.Load()
-	waiting := c.r != nil && c.r.Buffered() > 0 || !c.in.empty()
-	return !waiting || by > 0 && f.o.Clock.Now() >= by
+	c.in.rest(c.r != nil && c.r.Buffered() > 0) // what was read of the present request is no next one
+	return c.in.empty() || by > 0 && f.o.Clock.Now() >= by
 }
 
 // Wait waits until no connection is served, or ctx ends.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, 0, p.NoConn(ctx, err)
 	}
-	if t.Hold != nil && !t.Hold(c.endSending) {
+	if t.Hold != nil && !t.Hold(func() { c.Conn.Close() }) {
 		p.unused(c, t)
 		return nil, 0, balancer.Moot
 	}
@@ -88,13 +88,6 @@
 	p.put(c, c.answered)
 }
 
-// endSending tells the endpoint that nothing of what was sent is waited for any more, without waiting for whoever reads.
-func (c *Conn) endSending() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-}
-
 // Probe asks an endpoint for its load, or for its health where there are no load reports.
 func (to *Target) Probe() engine.Reply {
 	p := to.pool
@@ -137,9 +130,7 @@
 	c.limit.N = answerMost
 	n, err := c.Write(text)
 	if err != nil {
-		if stop() {
-			p.unheard(c)
-		}
+		stop()
 		release(false)
 		if n < len(text) {
 			return p.ended(balancer.ConnectFailed) // its last byte was not written, so it never ran
@@ -151,9 +142,6 @@
 	}
 	a, err := c.read()
 	r := p.ended(balancer.Reset)
-	if err != nil && ctx.Err() == nil {
-		p.unheard(c)
-	}
 	release(stop() && err == nil && !a.last && c.r.Buffered() == 0)
 	if err != nil {
 		return r
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -80,8 +80,7 @@
 
 	// Guarded by Pool.mu.
 	idle []*Conn
-	gone bool      // nothing new goes there
-	full time.Time // when a new connection was last of no use; it may hold all that it accepts
+	gone bool // nothing new goes there
 }
 
 // Target returns a new target for an address.
@@ -93,9 +92,10 @@
 	limit io.LimitedReader // what may still be read
 	r     *bufio.Reader
 	to    *Target
-	idle  time.Time // since when; zero before its first use
+	idle  time.Time // since when
 
-	answered time.Time // when the last answer came that may be followed by a second one; zero is never
+	answered time.Time       // when the last answer came that may be followed by a second one; zero is never
+	from     balancer.Micros // when an attempt on it could begin that had to wait for it; 0 is that it did not
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
@@ -135,13 +135,10 @@
 // SettleTime is how long a connection rests after an answer. A second one may come some milliseconds late: what was written to
 // the connection meanwhile would be answered by it. A rest of this length shows such an answer, and the connection is
 // not used again. One that comes later still is only shown if nothing was written in between.
-const SettleTime = 25 * time.Millisecond
+const SettleTime = 20 * time.Millisecond
 
-// fullFor is how long after a new connection was of no use a resting one is waited for instead of trying another.
-const fullFor = time.Second
-
-// Get returns the idle connection used last of those that have rested, since the others may then grow old, or a new one. Where
-// none can be had, one that still rests is waited for.
+// Get returns the idle connection used last of those that have rested, since the others may then grow old; else one that still
+// rests, once it has, since a new one costs more; else a new one.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.get(ctx, to, false)
@@ -151,9 +148,10 @@
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			p.Discard(c)
+			p.put(c, c.answered)
 			return nil, ctx.Err()
 		}
+		c.from = p.o.Clock.Now() // what it waited for says nothing of the endpoint
 		p.mu.Lock()
 		gone, usable := to.gone, p.usable(c)
 		if gone || !usable {
@@ -178,6 +176,7 @@
 		}
 		c := p.popLocked(to, i)
 		if p.usable(c) {
+			c.from = 0
 			p.mu.Unlock()
 			return c, 0, nil
 		}
@@ -186,9 +185,7 @@
 	switch {
 	case to.gone:
 		err = errGone
-	case len(to.idle) > 0 && time.Since(to.full) < fullFor:
-		c, wait = p.restingLocked(to)
-	case p.conns >= p.o.Most && len(to.idle) > 0:
+	case len(to.idle) > 0:
 		c, wait = p.restingLocked(to)
 	case p.conns >= p.o.Most && !p.evictLocked(): // descriptors must not run out: one idle elsewhere makes room
 		err = errNoRoom
@@ -204,12 +201,6 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.conns--
-		if ctx.Err() == nil && !to.gone {
-			if to.full = time.Now(); len(to.idle) > 0 {
-				c, wait = p.restingLocked(to)
-				return c, wait, nil
-			}
-		}
 		return nil, 0, err
 	}
 	c = newConn(nc, to)
@@ -240,15 +231,6 @@
 	return p.o.Settle - time.Since(c.answered)
 }
 
-// unheard notes that nothing was heard on a connection. If it was new, its endpoint may accept no more of them.
-func (p *Pool) unheard(c *Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.idle.IsZero() {
-		c.to.full = time.Now()
-	}
-}
-
 func (p *Pool) usable(c *Conn) bool { return time.Since(c.idle) < p.idleMost && c.alive() }
 
 // Rest bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -562,7 +562,7 @@
 					}
 				}
 			}))
-			for i, want := range []string{"1", "2"} {
+			for i, want := range []string{"1", "2"} { // the second waits, sees that more came, and goes elsewhere
 				if status, got := send(u, to); status != balancer.OK || got != want {
 					t.Fatalf("request %d: status %v, %q, want %q", i, status, got, want)
 				}
@@ -580,15 +580,15 @@
 	}
 }
 
-// An endpoint that accepts no more connections is not asked for another while one rests there: that one is waited for.
-func TestRestingIsWaitedForAtAFullEndpoint(t *testing.T) {
+// A connection that rests is waited for, since a new one costs more, and what that takes does not count as the endpoint's time;
+// whoever leaves meanwhile leaves it as it was.
+func TestRestingIsWaitedFor(t *testing.T) {
 	var tried atomic.Int32
+	const settle = 100 * time.Millisecond
 	u := newPool(func(o *Options) {
-		o.Settle = 100 * time.Millisecond
+		o.Settle = settle
 		o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if tried.Add(1) > 1 {
-				return nil, syscall.ECONNREFUSED
-			}
+			tried.Add(1)
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
 	})
@@ -600,12 +600,29 @@
 			io.WriteString(c, okAnswer)
 		}
 	}))
+	send := func(ctx context.Context) engine.Reply {
+		return u.SendWhole(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }},
+			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
+	}
 	for i := range 4 {
-		if r := u.try(plainGet(), to); r.Status != balancer.OK {
+		begun := time.Now()
+		r := send(context.Background())
+		if r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
+		if took := time.Since(begun); i > 0 && (took < settle/2 || r.At-r.From > took.Microseconds()/2) {
+			t.Errorf("request %d: after %v, of which the endpoint's are %d", i, took, r.At-r.From)
+		}
+	}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	if r := send(left); r.Status != balancer.Moot {
+		t.Errorf("one that has left: status %v", r.Status)
+	}
+	if r := send(context.Background()); r.Status != balancer.OK {
+		t.Errorf("after it: status %v", r.Status)
 	}
-	if n := tried.Load(); n != 2 {
-		t.Errorf("%d connections asked for, want the first and one more", n)
+	if n := tried.Load(); n != 1 {
+		t.Errorf("%d connections asked for", n)
 	}
 }
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -179,7 +179,7 @@
 		left = min(left, q.Wait.Milliseconds())
 	}
 	r, keep := e.run(ctx, q.bytes(left))
-	r.From = e.wrote.Load()
+	r.From = max(e.wrote.Load(), c.from)
 	if q.Stream != nil {
 		q.Stream.finish(e)
 		keep = keep && q.Stream.Body.Done()
@@ -208,9 +208,6 @@
 	c.limit.N = answerHeadMost
 	c.SetDeadline(time.Time{})
 	n, err := c.Write(text)
-	if err != nil && ctx.Err() == nil {
-		p.unheard(c)
-	}
 	switch {
 	case err != nil && n < len(text):
 		// Its last byte was not written, so it never ran, unless an endpoint begins with half a body.
@@ -234,9 +231,6 @@
 		}()
 	}
 	a, last, err := e.head()
-	if err != nil && ctx.Err() == nil {
-		p.unheard(c)
-	}
 	e.mu.Lock()
 	e.answered = true
 	e.mu.Unlock()
