--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -151,6 +151,17 @@
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
+// Until is the instant up to which the first byte of a request's latest attempt may go out: its window, where an attempt
+// before it may have run. The connection may take longer to come up. 0 is no such instant.
+func (b *Balancer) Until(id uint64) Micros {
+	if r := b.requests[id]; r != nil && b.class(r).Repeat == Keyed {
+		if first := r.bound(); first != nil && first != &r.attempts[len(r.attempts)-1] {
+			return first.at + b.class(r).Window
+		}
+	}
+	return 0
+}
+
 func (b *Balancer) mayRefuse(r *request) bool {
 	c := b.class(r)
 	return c.Repeat == Safe || r.bound() == nil || c.Repeat == Keyed && c.Group == GroupAll && !b.s.Strict
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -81,11 +81,11 @@
 	s := &sending{began: time.Now(), cancel: cancel}
 	a.Host = s
 	e, c := a.Endpoint, a.Call.Host.(*Call)
-	to, deadline := e.Target.(Target), a.Deadline // they may change later
+	to, deadline, until := e.Target.(Target), a.Deadline, a.Until // they may change later
 	go func() {
 		r := c.Attempt(ctx, &Try{To: to, Deadline: deadline, MayGo: func(now balancer.Micros) bool {
-			// The dial may have outlasted the grace of a drain or the time of the request.
-			return e.MaySend(now) && now < deadline && s.gate.pass()
+			// The dial may have outlasted the grace of a drain, the time of the request, or the window in which it may be repeated.
+			return e.MaySend(now) && now < deadline && (until == 0 || now < until) && s.gate.pass()
 		}, Began: func(r engine.Reply) bool {
 			return ask(x, func(now balancer.Micros) bool { return x.engine.Began(now, a, r) })
 		}, Hold: s.line.hold, LetGo: s.line.letGo, Heard: func() { x.post(func(now balancer.Micros) { x.engine.Heard(now, a) }) }})
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -24,6 +24,7 @@
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, now+timeout)
 	}
+	a.Until = x.pool.balancer.Until(id)
 	c.attempts = append(c.attempts, a)
 	c.open++
 	x.pool.weigh(now, 1)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,6 +130,7 @@
 	Endpoint *Endpoint
 	Sent     Micros
 	Deadline Micros // nothing of it is waited for from then on
+	Until    Micros // its first byte may not go out from then on; 0 is no such instant
 	Host     any    // the host's own
 
 	timeUp *alarm
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -512,7 +512,8 @@
 		s.to.disconnect(s.conn)
 		return
 	}
-	if s.phase == shutIn || !s.a.Endpoint.MaySend(in.local()) || in.local() >= s.a.Deadline {
+	if s.phase == shutIn || !s.a.Endpoint.MaySend(in.local()) || in.local() >= s.a.Deadline ||
+		s.a.Until > 0 && in.local() >= s.a.Until {
 		s.phase = shutIn
 		s.keep()
 		s.end(balancer.Moot)
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -742,3 +742,48 @@
 		})
 	}
 }
+
+// A dial can outlast the window in which a keyed request may be repeated: the second attempt then does not go out, and the
+// request has failed, since the first may have run. Within the window it goes on.
+func TestDialOutlastsWindow(t *testing.T) {
+	const window = 400 * time.Millisecond // as in settings
+	for name, late := range map[string]bool{"within": false, "past": true} {
+		t.Run(name, func(t *testing.T) {
+			var got atomic.Int32
+			first := make(chan time.Time, 1)
+			endpoint := func() string {
+				return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := peer.Take(r); err != nil {
+						return
+					}
+					if got.Add(1) == 1 {
+						first <- time.Now()
+						c.SetLinger(0) // it may have run
+						return
+					}
+					io.WriteString(c, okAnswer)
+				})
+			}
+			var dials atomic.Int32
+			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint()), board.Up("s-2", endpoint())})
+			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+				if dials.Add(1) == 2 && late && err == nil {
+					select { // a handshake that takes its time
+					case <-time.After(time.Until((<-first).Add(window))):
+					case <-ctx.Done():
+					}
+				}
+				return c, err
+			})
+			resp, _ := s.ask(t, request("POST", "/book", "book", 900, "x"))
+			want, attempts := 200, int32(2)
+			if late {
+				want, attempts = 502, 1
+			}
+			if resp.StatusCode != want || got.Load() != attempts {
+				t.Errorf("%s, %d attempts reached endpoints; want %d and %d", resp.Status, got.Load(), want, attempts)
+			}
+		})
+	}
+}
