--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -151,7 +151,7 @@
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
-// Until is the instant up to which the first byte of a request's latest attempt may go out: its window, where an attempt
+// Until is up to when the first byte of a request's latest attempt may go out: its window, where an attempt
 // before it may have run. The connection may take longer to come up. 0 is no such instant.
 func (b *Balancer) Until(id uint64) Micros {
 	if r := b.requests[id]; r != nil && b.class(r).Repeat == Keyed {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -125,18 +125,19 @@
 // keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
 // generation on, later each time and never in step with other sidecars.
 func (w *Watcher) keep(ctx context.Context) {
-	wait := waitLeast
+	wait, said := waitLeast, false
 	for ctx.Err() == nil {
 		heard, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if heard {
-			wait = waitLeast
+			wait, said = waitLeast, false
 		}
-		if wait == waitLeast { // one line for an outage, not one for each try
+		if !said { // one line for an outage, not one for each try
 			w.log.Warn("discovery watch ended, asking again", "error", err)
 		}
+		said = true
 		sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, max(waitLeast, w.Wait))
 	}
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -15,8 +15,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/conns"
 	"dunlinsail/internal/decide/shares"
@@ -147,9 +145,7 @@
 	}
 	some := false
 	raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		some = err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+		some = polled(fd, pollIn) != 0
 	})
 	return some
 }
--- /dev/null
+++ b/internal/front/http1/poll.go
@@ -0,0 +1,25 @@
+package http1
+
+import (
+	"syscall"
+	"unsafe"
+)
+
+// Events of poll(2), which package syscall does not name.
+const (
+	pollIn    = 0x1
+	pollRDHup = 0x2000 // the other side has ended its sending
+)
+
+// polled says, without waiting, which of some events a descriptor has; none where it cannot be asked.
+func polled(fd uintptr, events int16) int16 {
+	of := struct {
+		fd              int32
+		events, revents int16
+	}{fd: int32(fd), events: events}
+	var now syscall.Timespec
+	if n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&of)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0); errno != 0 || n == 0 {
+		return 0
+	}
+	return of.revents & events
+}
--- a/internal/front/http1/watch.go
+++ b/internal/front/http1/watch.go
@@ -7,8 +7,6 @@
 	"io"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // lookEvery is how often it is looked whether a client has left of whose connection nothing more can be read meanwhile.
@@ -127,9 +125,7 @@
 		case n == 0:
 			left = true
 		default: // its end may stand behind that
-			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-			n, err := unix.Poll(fds, 0)
-			left = err == nil && n > 0 && fds[0].Revents&unix.POLLRDHUP != 0
+			left = polled(fd, pollRDHup) != 0
 		}
 	})
 	return left
