Make a test of withdrawn sendings independent of the machine's pace; share what two tests wrote twice

Cause: TestSendingEndsBeforeTheNext failed once in 600 runs on a machine with fourteen tasks on six cores: its request's 50 ms could be over before the attempt had begun. The stop and leave tests had the hanging endpoint and the wait for a free place twice.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -311,8 +311,8 @@
 	}
 }
 
-// The sending of an attempt whose time is up has ended before anything else is done for its request, an answer or another
-// attempt, however long whoever makes the attempt takes to notice: no two are out where two may not be.
+// The sending of an attempt that is withdrawn has ended before anything else is done, for its request or another, however long
+// whoever makes the attempt takes to notice: no two are out where two may not be.
 func TestSendingEndsBeforeTheNext(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
@@ -321,21 +321,23 @@
 		t.Fatal(err)
 	}
 	var ended atomic.Bool
-	over := make(chan struct{})
+	out, over := make(chan struct{}), make(chan struct{})
 	defer close(over)
 	c := p.call(t, client, "1", nil)
-	c.In.Deadline = x.config.Clock.Now() + 50_000
+	c.In.Deadline = x.config.Clock.Now() + 2*peer.Soon.Microseconds()
 	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
-		if try.Hold(func() { ended.Store(true) }) {
-			try.MayGo(x.config.Clock.Now())
+		if try.Hold(func() { ended.Store(true) }) && try.MayGo(x.config.Clock.Now()) {
+			close(out)
 		}
 		<-over // it notices nothing
 		return engine.Reply{Status: balancer.Reset, At: x.config.Clock.Now()}
 	}
 	x.Submit(c)
-	peer.Within(t, c.Answer, "answer")
+	peer.Within(t, out, "the attempt")
+	x.Leave(c)
+	x.sync(t)
 	if !ended.Load() {
-		t.Error("answered while the attempt was still being sent")
+		t.Error("what comes next finds the attempt still being sent")
 	}
 }
 
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -79,6 +79,30 @@
 // noticedWithin is how long after a client has left nothing of its request may go on any more.
 const noticedWithin = 300 * time.Millisecond
 
+// forgets waits until nothing of any request is held any more, and fails the test if that took too long since the client left.
+func (s *running) forgets(t *testing.T, left time.Time) {
+	t.Helper()
+	peer.Eventually(t, "its place is free", func() bool {
+		_, inFlight, _, calls := s.parts.endpoints.Counts()
+		return inFlight == 0 && calls == 0
+	})
+	if took := time.Since(left); took > noticedWithin {
+		t.Errorf("noticed after %v", took)
+	}
+}
+
+// hanging is an endpoint that takes requests, counts them and never answers.
+func hanging(t *testing.T, taken *atomic.Int32) string {
+	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := peer.Take(r); err != nil {
+				return
+			}
+			taken.Add(1)
+		}
+	})
+}
+
 // A client that leaves while its request waits for a connection takes it along: nothing of it goes to an endpoint from then
 // on, however the client has left and whatever it had sent before, also where the settings forbid to withdraw what runs. It
 // costs nothing more: its place is free at once, before the connection is up.
@@ -130,14 +154,7 @@
 					peer.Within(t, h.dialing, "dial")
 					leave(t, nc.(*net.TCPConn))
 					left := time.Now()
-					// It has gone once its place is free.
-					peer.Eventually(t, "its place is free", func() bool {
-						_, inFlight, _, calls := s.parts.endpoints.Counts()
-						return inFlight == 0 && calls == 0
-					})
-					if took := time.Since(left); took > noticedWithin {
-						t.Errorf("noticed after %v", took)
-					}
+					s.forgets(t, left)
 					close(h.release)
 					// Another goes on as ever, and what was held for the one that left would have come before.
 					if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
@@ -172,13 +189,7 @@
 	peer.Within(t, h.dialing, "dial")
 	nc.Close()
 	left := time.Now()
-	peer.Eventually(t, "its place is free", func() bool {
-		_, inFlight, _, calls := s.parts.endpoints.Counts()
-		return inFlight == 0 && calls == 0
-	})
-	if took := time.Since(left); took > noticedWithin {
-		t.Errorf("noticed after %v", took)
-	}
+	s.forgets(t, left)
 	close(h.release)
 	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("the next is answered %s", resp.Status)
@@ -230,14 +241,7 @@
 // first was waiting: nothing of those behind it goes out once that one's time is up.
 func TestLeftBeforeItIsRead(t *testing.T) {
 	var taken atomic.Int32
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		for {
-			if _, err := peer.Take(r); err != nil {
-				return
-			}
-			taken.Add(1) // and it is never answered
-		}
-	})
+	addr := hanging(t, &taken)
 	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -187,14 +187,7 @@
 // longest deadline; clients that go on sending do not keep it open. Attempts hang at the only endpoint.
 func TestStopEndsInTime(t *testing.T) {
 	var taken atomic.Int32
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		for {
-			if _, err := peer.Take(r); err != nil {
-				return
-			}
-			taken.Add(1)
-		}
-	})
+	addr := hanging(t, &taken)
 	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
