--- a/internal/standin/board/board.go
+++ b/internal/standin/board/board.go
@@ -2,25 +2,39 @@
 package board
 
 import (
-	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/peer"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
+
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/standin/peer"
 )
 
 // Board is a discovery whose watches are written by hand.
 type Board struct {
 	Addr  string
 	After chan string // what each call asked for: its values of watch and after
-	Lines chan string // to write to the call that is open; an empty text ends it
+	Lines chan string // to write to the call that came last; an empty text ends it
+
+	mu   sync.Mutex
+	last *call
+}
+
+// call is one that the board answers.
+type call struct {
+	left  context.CancelFunc
+	ended chan struct{}
 }
 
 // New starts a board.
 func New(t testing.TB) *Board {
 	b := &Board{After: make(chan string, 16), Lines: make(chan string)}
 	b.Addr = peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer b.take(cancel)()
 		b.After <- r.FormValue("watch") + " " + r.FormValue("after")
 		http.NewResponseController(w).Flush()
 		for {
@@ -31,7 +45,7 @@
 				}
 				io.WriteString(w, line+"\n")
 				http.NewResponseController(w).Flush()
-			case <-r.Context().Done():
+			case <-ctx.Done():
 				return
 			}
 		}
@@ -39,6 +53,20 @@
 	return b
 }
 
+// take has a call be the last one: the call before it is over when this returns, so that no line for this one goes to a caller who has
+// left. It returns what ends the call.
+func (b *Board) take(left context.CancelFunc) (end func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.last != nil {
+		b.last.left()
+		<-b.last.ended
+	}
+	now := &call{left: left, ended: make(chan struct{})}
+	b.last = now
+	return func() { left(); close(now.ended) }
+}
+
 // Line returns a list as a line of a watch.
 func Line(generation int64, reset bool, instances ...discovery.Instance) string {
 	text, err := json.Marshal(discovery.List{Generation: generation, Reset: reset, Instances: instances})
