Let one in ten pass where no probe tells loads: a jam that is over was refused for minutes

Cause: in a burst without load figures queues are learned as work (a line for each refusal: sidecar n54, asked 120 a second, work 437 ms times trend 8, refuses 98%; 9 s after the burst still 388 ms and 3.4, while endpoints answer within 120 ms). What passes is all that can tell that the jam is over, and passEvery let one a second pass, of 120. Change: where no probe tells loads one of ten that seem too late passes, at least one a second. Elsewhere nothing changes. TestRefusalEndsSoonAfterTheJam fails without it: 336 of 1000 refused from 5 s after the jam on.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,6 +39,8 @@
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
 		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
 	}
+	b.blind = !s.Limits.Probes ||
+		!slices.Contains(s.Fields, FieldInflight) && !slices.Contains(s.Fields, FieldQueue)
 	b.lately.ring, b.again.ring = make([]int, withinParts), make([]int, withinParts+1)
 	for i := range b.classes {
 		b.classes[i].work = ewma{v: float64(s.Classes[i].Aim) / 5, n: settled}
@@ -897,6 +899,7 @@
 	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
 	waitMost    = 6.0  // times what is expected,
 	waitLeast   = 10   // but such a part of the aim at least: shorter silences are made by schedulers and hosts
+	passOf      = 10.0 // of so many requests that seem too late one passes, where nothing else tells how it is
 	windowGain  = 4.0  // worth counts more in the worst windows, and those are when requests are refused
 )
 
@@ -974,7 +977,12 @@
 // passEvery is the time between two requests of a class that pass although they seem too late. Were it the
 // same at each of many instances, all that is asked for would pass.
 func (b *Balancer) passEvery(now Micros, c *classStats) Micros {
-	if b.bounds == nil {
+	switch {
+	case b.bounds == nil && b.blind:
+		// What passes is all that tells how long requests take now: one a second, of a hundred, would tell it for
+		// minutes too late.
+		return min(forcedPass, Micros(passOf*float64(second)/max(1, c.asked.rate(now))))
+	case b.bounds == nil:
 		return forcedPass
 	}
 	if c.passed == 0 {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -131,6 +133,59 @@
 	}
 }
 
+// Where no probe tells loads, only answers show that a jam is over. While a hundred a second are refused, one that passes each
+// second would leave a balancer refusing for minutes what all endpoints could serve.
+func TestRefusalEndsSoonAfterTheJam(t *testing.T) {
+	for name, s := range map[string]func(*Settings){
+		"no probes":  func(s *Settings) { s.Limits.Probes = false },
+		"no reports": func(s *Settings) { s.Fields = nil },
+	} {
+		set := testSettings()
+		set.Limits.Cancel = false
+		s(&set)
+		b, out := start(t, set, ready(8))
+		type due struct {
+			at   Micros
+			id   uint64
+			took Micros
+		}
+		var owed []due
+		refused := map[bool]int{} // in the jam, and from 5 s after it on
+		const jam, calm, end = 10 * second, 15 * second, 25 * second
+		id := uint64(0)
+		for now := Micros(0); now < end; now += 10_000 {
+			for len(owed) > 0 && owed[0].at <= now {
+				b.Outcome(now, Outcome{ID: owed[0].id, Status: OK, Latency: owed[0].took, Settled: true})
+				owed = owed[1:]
+			}
+			id++
+			sends, no := len(out.sends), len(out.refused)
+			b.Request(now, request0(id, 0, now))
+			if took := Micros(50_000); len(out.sends) > sends {
+				if now > 5*second && now < jam {
+					took = 900_000
+				}
+				owed = append(owed, due{now + took, id, took})
+				slices.SortFunc(owed, func(a, b due) int { return cmp.Compare(a.at, b.at) })
+			}
+			if len(out.refused) > no {
+				switch {
+				case now < jam:
+					refused[true]++
+				case now >= calm:
+					refused[false]++
+				}
+			}
+		}
+		if refused[true] < 100 {
+			t.Errorf("%s: %d refused in a jam of 5 s, the test shows nothing", name, refused[true])
+		}
+		if refused[false] > 50 {
+			t.Errorf("%s: %d of 1000 refused from 5 s after the jam on", name, refused[false])
+		}
+	}
+}
+
 func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
 	b, r := start(t, testSettings(), ready(3))
 	now := second
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -25,6 +25,7 @@
 	listed bool        // discovery has answered since the start
 	seed   uint64      // of the lots of requests: those of other balancers are others
 	bounds *Bounds     // nil: what is asked for is judged request by request
+	blind  bool        // no probe tells the load of endpoints
 	handed bool        // what cold endpoints may still get is another balancer's (HandOver)
 
 	subscribed bool
