Wait for requests half sent as a sidecar stops, and count its time from the order in a handover

Found by reading shutdown and handovers line by line, each shown by a test that forces the order: - SIGTERM while a head or body is half read: hush closed the connection at once, since what had come had been read and nothing waited in the kernel. Its client has not seen it rest and does not send again; its last byte may be written as the close travels, and is lost then. While the sidecar goes on such a connection may still have to make room for others, as before. - SIGTERM during a handover: by when all has to be answered was set as the drain began, not as the order came, and not at all once the taker had the connections. A request whole 1 s later was answered after 3.997 s, the platform kills at 3.7 s. - Clients who connect without end kept the listener's queue from ever being empty, and the process from ending (20 s seen); emptying it takes 100 ms at most now. Tests: TestStopWaitsForHalfARequest and TestToldToEndInAHandover (each step of the handover, the taker silent or lost). Without the first mend both half requests get an end and no answer; without the second three of eight cases are late.

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -93,7 +93,8 @@
 	}
 	p := &process{h: h, desk: desk, cmd: exec.Command(program), ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_LISTEN="+h.addr, "ROUTER_OPERATOR="+desk,
-		"ROUTER_INHERITED_FD=3", "TMPDIR="+h.dir)
+		"ROUTER_INHERITED_FD=3", "TMPDIR="+h.dir,
+		"GORACE=atexit_sleep_ms=0") // the detector's own wait at the end is none of the program's
 	p.cmd.ExtraFiles = []*os.File{h.ln}
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
@@ -337,25 +338,7 @@
 			if steps < 3 { // from Yours on, connections are in the hands of the one that is lost
 				stop = h.load(2)
 			}
-			c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			say := [...]decide.Event{decide.Hello, decide.Ready, decide.Prepared}
-			for _, kind := range say[:steps] {
-				m := takeover.Message{Kind: kind}
-				if kind == decide.Hello {
-					m.Text = fmt.Append(nil, decide.Version)
-				}
-				if err := c.Write(m); err != nil {
-					t.Fatal(err)
-				}
-				got, err := c.ReadWithin(peer.Soon)
-				if err != nil {
-					t.Fatal(err)
-				}
-				got.CloseFiles()
-			}
+			c := h.asTaker(steps)
 			old.cmd.Process.Signal(syscall.SIGHUP) // in the middle of it
 			c.Close()
 			peer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
@@ -371,6 +354,89 @@
 	}
 }
 
+// asTaker connects as a process that wants to take over, and goes so many steps: asked, ready, prepared.
+func (h *host) asTaker(steps int) *takeover.Conn {
+	h.t.Helper()
+	c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for _, kind := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared}[:steps] {
+		m := takeover.Message{Kind: kind}
+		if kind == decide.Hello {
+			m.Text = fmt.Append(nil, decide.Version)
+		}
+		if err := c.Write(m); err != nil {
+			h.t.Fatal(err)
+		}
+		got, err := c.ReadWithin(peer.Soon)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		got.CloseFiles()
+	}
+	return c
+}
+
+// The old process is told to end at each step of a handover to one that falls silent there, or is lost as the order comes. What it
+// has taken is answered, and what its clients send whole later is by the time at which the platform kills it: 3 s, the longest that
+// counts, and 0.7 s. The endpoint that has the later one never answers.
+func TestToldToEndInAHandover(t *testing.T) {
+	for steps := range 4 {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d steps, lost %v", steps, lost), func(t *testing.T) {
+				t.Parallel()
+				h := newHost(t)
+				hold := make(chan struct{})
+				defer close(hold)
+				h.hold.Store(&hold)
+				old := h.start().ready()
+				open := func() (net.Conn, *bufio.Reader) {
+					c, err := net.Dial("tcp", h.addr)
+					if err != nil {
+						t.Fatal(err)
+					}
+					t.Cleanup(func() { c.Close() })
+					return c, bufio.NewReader(c)
+				}
+				held := func(ms, length int) string {
+					return head("POST", "/pay/held", fmt.Sprintf("Content-Length: %d\r\nX-Expires-In-Ms: %d\r\n", length, ms))
+				}
+				half, halfIn := open()
+				io.WriteString(half, held(3000, 2)+"o")
+				waits, waitsIn := open()
+				answered := make(chan int, 1)
+				go func() {
+					code, _ := ask(waits, waitsIn, held(9000, 0))
+					answered <- code
+				}()
+				peer.Eventually(t, "a request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+				taker := h.asTaker(steps)
+				defer taker.Close()
+				told := time.Now()
+				old.cmd.Process.Signal(syscall.SIGTERM)
+				if lost {
+					taker.Close()
+				}
+				hold <- struct{}{} // the first has its answer
+				if code := peer.Within(t, answered, "answer to what was open"); code != 200 {
+					t.Errorf("what was open was answered %d", code)
+				}
+				const killed = 3700 * time.Millisecond
+				time.Sleep(time.Until(told.Add(time.Second))) // whole so late, its own time would end at 4 s
+				code, err := ask(half, halfIn, "k")
+				if took := time.Since(told); code != 504 || took > killed {
+					t.Errorf("what was whole later: %d, %v after %v", code, err, took)
+				}
+				old.ends()
+				if took := time.Since(told); took > killed {
+					t.Errorf("ended after %v\n%s", took, old.log.String())
+				}
+			})
+		}
+	}
+}
+
 // What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step: the new process
 // serves in time and does not end for it.
 func TestOldOneGarbles(t *testing.T) {
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -46,6 +46,7 @@
 	// Guarded by connections.mu.
 	place   *conns.Conn[*conn]
 	parked  bool // it waits for the first byte of a request
+	begun   bool // a request has begun to come that is not taken yet
 	called  bool // release has ended that wait; it is not over for it
 	offered int  // the release in which it was last offered to another process
 }
@@ -70,11 +71,11 @@
 }
 
 func newConnections(l conns.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
-	table, err := conns.New(l, (*conn).rests)
-	if err != nil {
+	k := &connections{clock: clk, talk: talk, log: log}
+	var err error
+	if k.table, err = conns.New(l, k.rests); err != nil {
 		return nil, err
 	}
-	k := &connections{clock: clk, talk: talk, log: log, table: table}
 	k.idle = time.AfterFunc(time.Hour, k.expire)
 	return k, nil
 }
@@ -83,6 +84,7 @@
 	acceptWaitLeast = 5 * time.Millisecond
 	acceptWaitMost  = time.Second
 	restWait        = 5 * time.Millisecond
+	restMost        = 100 * time.Millisecond // a full queue takes far less
 )
 
 // Identify tells whose connection one is. gone is called once the connection has ended; it may be nil. A
@@ -115,13 +117,13 @@
 }
 
 // acceptRest serves the connections that wait in ln's queue, and returns once there is none: closing ln would reset them, with
-// what their clients have sent. Nobody else may accept meanwhile.
+// what their clients have sent. Nobody else may accept meanwhile. Clients who come without end do not keep it going.
 func (k *connections) acceptRest(ln net.Listener, identify Identify) {
 	bounded, ok := ln.(interface{ SetDeadline(time.Time) error })
 	if !ok {
 		return
 	}
-	for {
+	for end := time.Now().Add(restMost); time.Now().Before(end); {
 		bounded.SetDeadline(time.Now().Add(restWait)) // what waits is taken without waiting
 		nc, err := ln.Accept()
 		switch {
@@ -241,6 +243,7 @@
 func (k *connections) take(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	c.begun = false
 	return k.table.Take(c.place)
 }
 
@@ -271,7 +274,8 @@
 	k.table.Each(func(c *conns.Conn[*conn]) { c.Value.Close() })
 }
 
-// hush closes the connections without an open request; those with one close once they have their answers.
+// hush closes the connections without an open request; those with one, or of which a part has come, close once they have their
+// answers.
 func (k *connections) hush() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -281,6 +285,22 @@
 	}
 }
 
+// hushHalves closes the connections of whose request a part has come, and nothing since: it is not waited for any longer.
+func (k *connections) hushHalves() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.Each(func(p *conns.Conn[*conn]) {
+		if c := p.Value; c.begun && c.in.empty() {
+			k.closeLocked(p)
+		}
+	})
+}
+
+// rests says whether a connection can be closed without taking a request with it: nothing has come on it that has not been looked
+// at. One of whose request a part has come may have to make room for others, which come whole; while all are to close nobody
+// else comes, and its client, who did not see it rest, would not send the request again.
+func (k *connections) rests(c *conn) bool { return c.in.empty() && !(k.closing && c.begun) }
+
 // ---- Handing connections over -----------------------------------------------
 //
 // A connection at rest, of whose next request no byte has been read, can go on in another process: to its client
@@ -313,6 +333,9 @@
 func (k *connections) park(c *conn, until time.Time) bool {
 	c.releaseReader()
 	if c.r != nil {
+		k.mu.Lock()
+		c.begun = true
+		k.mu.Unlock()
 		return true // it has come already
 	}
 	for {
@@ -327,10 +350,11 @@
 		// Whoever called may have been told meanwhile that nothing is to be handed over after all.
 		late := errors.Is(err, os.ErrDeadlineExceeded)
 		again := c.called && late
-		c.parked, c.called = false, false
+		come := err == nil || late && !c.in.empty() // it has come as its time was up
+		c.parked, c.called, c.begun = false, false, come && !again
 		k.mu.Unlock()
 		if !again {
-			return err == nil || late && !c.in.empty() // it has come as its time was up
+			return come
 		}
 	}
 }
@@ -388,9 +412,6 @@
 	return c.in.readable()
 }
 
-// rests says whether nothing has come on the connection that has not been looked at.
-func (c *conn) rests() bool { return c.in.empty() }
-
 const (
 	writeTime  = time.Second
 	lingerTime = 200 * time.Millisecond
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -64,6 +64,7 @@
 	peers  sync.Mutex       // guards talking
 	talked []*takeover.Conn // the other processes that words by hand are told to
 
+	told   bool // to end, by the platform
 	ended  bool
 	result error
 }
@@ -94,7 +95,9 @@
 				l.end(fmt.Errorf("serve: %w", err))
 			}
 		case <-stopped:
-			stopped = nil
+			stopped, l.told = nil, true
+			// The platform counts from the order, however far a handover is: what is taken from now on has no more time.
+			l.endBy()
 			if l.takerStep(decide.Stop, ""); !l.ended {
 				l.giverStep(decide.Stop)
 			}
@@ -132,6 +135,13 @@
 	return d
 }
 
+// endBy has all answered in time after an order to end that comes now. Of what is only half sent then nothing can be answered.
+func (l *course) endBy() {
+	left := min(longestMost, longest(l.s.config)) + killAfter
+	l.s.front.EndBy(l.s.clock.Now() + clock.Micros(left))
+	l.loop.After(left, l.s.front.GiveUpHalves)
+}
+
 func now() decide.Micros { return takeover.Monotonic() }
 
 func (l *course) end(err error) {
@@ -452,7 +462,9 @@
 	l.s.log.Info("stopping")
 	l.s.accepting.Store(false)
 	l.s.front.Release(nil)
-	l.s.front.EndBy(l.s.clock.Now() + clock.Micros(min(longestMost, longest(l.s.config))+killAfter))
+	if !l.told { // it is the taker that was told to end
+		l.endBy()
+	}
 	l.s.front.Quiesce()
 	if l.takeLn != nil {
 		l.takeLn.Close()
@@ -465,8 +477,7 @@
 		l.pause()
 		l.s.front.AcceptRest(l.ln, l.s.identify)
 		l.ln.Close()
-		// Whoever has not sent a whole request by now is not waited for: time is short, and all that is open is due.
-		l.s.front.Quiesce()
+		l.s.front.Quiesce() // those that have come meanwhile and said nothing
 		l.drained()
 	})
 }
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -217,3 +217,56 @@
 		t.Errorf("ended after %v", took)
 	}
 }
+
+// A request of which a part has come as the order to stop does is waited for, head or body: its client has not seen the connection
+// rest, and would not send it again. One that never comes whole is given up when nothing of it could be answered in time.
+func TestStopWaitsForHalfARequest(t *testing.T) {
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "ok")
+	})
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s.ask(t, look(900)) // it learns how fast the endpoint is
+	type half struct {
+		c    net.Conn
+		rest string
+	}
+	var halves []half
+	for _, missing := range []int{20, 1, 20} { // of the head, of the body, of one that never comes whole
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
+		io.WriteString(c, text[:len(text)-missing])
+		halves = append(halves, half{c, text[len(text)-missing:]})
+	}
+	peer.Eventually(t, "they have begun", func() bool { all, _ := s.parts.front.Conns(); return all >= len(halves) })
+	// What came has been read, so that only who reads it knows of it.
+	peer.Eventually(t, "they are read", func() bool { return s.parts.front.Begun() == len(halves) })
+	begun := time.Now()
+	s.stop()
+	peer.Eventually(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", s.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	for i, h := range halves[:2] {
+		io.WriteString(h.c, h.rest)
+		h.c.SetReadDeadline(time.Now().Add(peer.Soon))
+		resp, err := http.ReadResponse(bufio.NewReader(h.c), nil)
+		if err != nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("request %d: %v, %v", i, resp, err)
+		}
+	}
+	if err := peer.Within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
+	if took := time.Since(begun); took > killed {
+		t.Errorf("ended after %v", took)
+	}
+}
