Keep back an answer's head until its body comes; an unused connection keeps its age

Both found by reading; each with a test that fails without its mend. - A head with a short length and no body behind it within 20 ms was passed on to the client, and the request counted as served from then on: no other endpoint was tried, no final answer came in time, and 10 s later the client got a reset (seen by TestHeadWithoutBody without the mend). A short answer's time is that of its last byte, so that passing the head on gains nothing: it is kept back now while the attempt has time. Safe requests are then served by another endpoint. - A connection that an attempt took and put back unused (withdrawn, kept in by a drain, its rest not waited out) counted as used just then: it could be used past the time at which its endpoint closes it, was not among those closed for silence, and went before one used later. TestUnusedConnectionKeepsItsAge.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -262,6 +262,46 @@
 	}
 }
 
+// An answer of which the head comes and nothing else is no answer: a request that may be repeated is served by another endpoint, and
+// one that may not gets its final answer in its time.
+func TestHeadWithoutBody(t *testing.T) {
+	var heads atomic.Int32
+	var stalls atomic.Bool
+	bad := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := peer.Take(r); err != nil {
+				return
+			}
+			if stalls.Load() {
+				break
+			}
+			io.WriteString(c, okAnswer)
+		}
+		heads.Add(1)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+		r.Peek(1) // until it is withdrawn
+	})
+	stalls.Store(true)
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", bad)}))
+	asked := time.Now()
+	resp, _ := s.ask(t, request("POST", "/pay", "pay", 400, "x"))
+	if took := time.Since(asked); resp.StatusCode != 504 || took > 450*time.Millisecond || heads.Load() != 1 {
+		t.Errorf("alone: %s after %v, with %d attempts", resp.Status, took, heads.Load())
+	}
+	good := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	s = start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", bad), board.Up("s-2", good)}))
+	stalls.Store(false)
+	for range 20 { // it learns how long answers take; until then any silence is waited for
+		s.ask(t, look(900))
+	}
+	stalls.Store(true)
+	for before := heads.Load(); heads.Load() == before; {
+		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+			t.Errorf("beside another: %s", resp.Status)
+		}
+	}
+}
+
 // An endpoint that is mute must not keep the client waiting past its time, nor the connection open.
 func TestDeadline(t *testing.T) {
 	ended := make(chan error, 3)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -85,7 +85,7 @@
 		p.Discard(c)
 		return
 	}
-	p.put(c, c.answered)
+	p.back(c)
 }
 
 // Probe asks an endpoint for its load, or for its health where there are no load reports.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -148,7 +148,7 @@
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			p.put(c, c.answered)
+			p.back(c)
 			return nil, ctx.Err()
 		}
 		c.from = p.o.Clock.Now() // what it waited for says nothing of the endpoint
@@ -270,13 +270,31 @@
 func (p *Pool) put(c *Conn, answered time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.answered = answered
+	c.answered, c.idle = answered, time.Now()
+	p.keepLocked(c)
+}
+
+// back puts back a connection that was not used. It has been idle all the while: the endpoint counts from its last use.
+func (p *Pool) back(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idle.IsZero() {
+		c.idle = time.Now() // it has just come up
+	}
+	p.keepLocked(c)
+}
+
+// keepLocked keeps an idle connection, in the order in which they were last used.
+func (p *Pool) keepLocked(c *Conn) {
 	if c.to.gone || p.closed {
 		p.closeLocked(c)
 		return
 	}
-	c.idle = time.Now()
-	c.to.idle = append(c.to.idle, c)
+	at := len(c.to.idle)
+	for at > 0 && c.to.idle[at-1].idle.After(c.idle) {
+		at--
+	}
+	c.to.idle = slices.Insert(c.to.idle, at, c)
 	p.idle[c.to] = struct{}{}
 	p.resting++
 	p.trimLocked()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -394,6 +394,49 @@
 	}
 }
 
+// An attempt that takes a connection and is withdrawn before its first byte has not used it: to the endpoint it has been idle all the
+// while, and it is not used beyond its age for that, nor before one used later.
+func TestUnusedConnectionKeepsItsAge(t *testing.T) {
+	var dials atomic.Int32
+	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		dials.Add(1)
+		for {
+			if _, err := peer.Take(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	u := newPool()
+	to := u.at(addr)
+	u.try(plainGet(), to)
+	to.idle[0].idle = to.idle[0].idle.Add(-u.idleMost * 3 / 4)
+	used := to.idle[0].idle
+	r := u.Send(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return false }}, plainGet())
+	if r.Status != balancer.Moot || len(to.idle) != 1 || !to.idle[0].idle.Equal(used) {
+		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idle, used)
+	}
+	old := to.idle[0]
+	ctx := context.Background()
+	if c, err := u.Get(ctx, to); err != nil || c != old {
+		t.Fatalf("the idle connection was not taken (error %v)", err)
+	}
+	fresh, err := u.Get(ctx, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.Put(fresh)
+	u.back(old)
+	if c, err := u.Get(ctx, to); err != nil || c != fresh {
+		t.Errorf("one put back unused went before one used later (error %v)", err)
+	}
+	u.Put(fresh)
+	old.idle = old.idle.Add(-u.idleMost / 2)
+	if u.sweep(); len(to.idle) != 1 || to.idle[0] != fresh {
+		t.Errorf("%d idle connections after the old one's time", len(to.idle))
+	}
+}
+
 // The connection used last is used next, so that those not needed grow old and are closed.
 func TestLatestConnectionFirst(t *testing.T) {
 	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -453,6 +453,10 @@
 		case isTimeout(err) && patient && a.Framing.Kind == message.Sized && len(a.Held) > 0:
 			e.t.Heard() // it is slow, but not silent
 			until = time.Time{}
+		case isTimeout(err) && patient && a.Framing.Kind == message.Sized:
+			// A head alone is not passed on: its client would be shown an answer that may never come, where another try may yet
+			// serve it. The attempt's own time bounds this.
+			until = time.Now().Add(holdTime)
 		case isTimeout(err):
 			return false, nil
 		case err != nil:
