--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -155,6 +155,7 @@
 					leave(t, nc.(*net.TCPConn))
 					left := time.Now()
 					s.forgets(t, left)
+					peer.Eventually(t, "the dial is given up", func() bool { return h.ended.Load() == 1 })
 					close(h.release)
 					// Another goes on as ever, and what was held for the one that left would have come before.
 					if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
