--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -174,6 +175,61 @@
 	}
 }
 
+// A request that is held until probes have answered waits, too: if its client leaves, nothing of it goes out once they have. A round
+// in which the probes' own time was up first, on a busy machine, shows nothing and is played again.
+func TestLeavesWhileProbesAreWaitedFor(t *testing.T) {
+	var mu sync.Mutex
+	var taken []time.Time
+	release := make(chan struct{})
+	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/load" {
+			<-release
+			return
+		}
+		mu.Lock()
+		taken = append(taken, time.Now())
+		mu.Unlock()
+		io.WriteString(w, "ok")
+	})
+	defer close(release)
+	var list []discovery.Instance // several: one that is being probed anyway is not waited for
+	for i := range 8 {
+		list = append(list, board.Up(fmt.Sprint("s-", i), addr))
+	}
+	for round := 0; ; round++ {
+		// A new one each time: who was asked more lately does not wait for probes.
+		s := start(t, configure(t, peer.Nowhere(t), list,
+			`"probes":false`, `"probes":true`, `"target":500000,"give-up":1000000`, `"target":1000000,"give-up":9000000`))
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mu.Lock()
+		before := len(taken)
+		mu.Unlock()
+		io.WriteString(c, sent(t, look(9000)))
+		peer.Eventually(t, "it is taken", func() bool {
+			_, _, _, calls := s.parts.endpoints.Counts()
+			mu.Lock()
+			defer mu.Unlock()
+			return calls == 1 || len(taken) > before
+		})
+		c.Close()
+		left := time.Now()
+		s.forgets(t, left)
+		time.Sleep(time.Until(left.Add(noticedWithin))) // the probes' time is up by then, too
+		mu.Lock()
+		late := taken[before:]
+		mu.Unlock()
+		if len(late) == 0 {
+			return
+		}
+		if round == 20 {
+			t.Fatalf("in each of %d rounds it was sent on, now %v after its client had left", round, late[0].Sub(left))
+		}
+	}
+}
+
 // A client whose whole body has come and that has left then, all of it still in the kernel, has left all the same.
 func TestLeavesBehindAStreamedBody(t *testing.T) {
 	var got atomic.Int64
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -269,15 +269,7 @@
 // that is gone is kept.
 func TestGoneEndpointsConnections(t *testing.T) {
 	var dials atomic.Int32
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		dials.Add(1)
-		for {
-			if _, err := peer.Take(r); err != nil {
-				return
-			}
-			io.WriteString(c, okAnswer)
-		}
-	})
+	addr := answering(t, &dials)
 	u := newPool()
 	old, next := u.at(addr), u.at(addr)
 	ctx := context.Background()
@@ -356,10 +348,9 @@
 	}
 }
 
-// An idle connection is retired well before the endpoint would close it, and the sweep closes it.
-func TestIdleConnectionIsRetired(t *testing.T) {
-	var dials atomic.Int32
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+// answering is an endpoint that answers all that comes, and counts its connections.
+func answering(t *testing.T, dials *atomic.Int32) string {
+	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
 			if _, err := peer.Take(r); err != nil {
@@ -368,6 +359,12 @@
 			io.WriteString(c, okAnswer)
 		}
 	})
+}
+
+// An idle connection is retired well before the endpoint would close it, and the sweep closes it.
+func TestIdleConnectionIsRetired(t *testing.T) {
+	var dials atomic.Int32
+	addr := answering(t, &dials)
 	u := newPool()
 	to := u.at(addr)
 	if most := 12 * time.Second; u.idleMost > most {
@@ -398,15 +395,7 @@
 // while, and it is not used beyond its age for that, nor before one used later.
 func TestUnusedConnectionKeepsItsAge(t *testing.T) {
 	var dials atomic.Int32
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		dials.Add(1)
-		for {
-			if _, err := peer.Take(r); err != nil {
-				return
-			}
-			io.WriteString(c, okAnswer)
-		}
-	})
+	addr := answering(t, &dials)
 	u := newPool()
 	to := u.at(addr)
 	u.try(plainGet(), to)
