Tell a taker to end at each step, and both processes of an upgrade

Now real processes are told, twice at once, after each step of a scripted giver, and a process that has just taken over while the one before has a request open. TestTakerToldToEnd fails where the order does not reach the taker (it serves a client); TestBothEnd where the giver is not told (the open request is answered 504).

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -437,6 +437,86 @@
 	}
 }
 
+// A process that is to take over is told to end at each step before it serves, twice at once: it ends with 0 and has served nobody, and
+// the one that serves sees its end. Who serves is scripted, so that the order comes at that step each time.
+func TestTakerToldToEnd(t *testing.T) {
+	for steps, heard := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared} {
+		t.Run("after "+heard.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			p := h.start()
+			c, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			for i, answer := range []decide.Event{decide.Offer, decide.Go, decide.Yours} {
+				m, err := c.ReadWithin(peer.Soon)
+				if err != nil {
+					t.Fatalf("step %d: %v", i, err)
+				}
+				m.CloseFiles()
+				if i == steps {
+					break
+				}
+				if err := c.Write(takeover.Message{Kind: answer}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			client, err := net.Dial("tcp", h.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			io.WriteString(client, head("GET", "/look/1", ""))
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			p.ends()
+			client.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // what the process has done has come by now
+			if n, err := client.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("a client that waits for whoever serves: %d bytes, %v", n, err)
+			}
+			if m, err := c.ReadWithin(peer.Soon); err == nil {
+				m.CloseFiles()
+				t.Errorf("it said %v as it ended", m.Kind)
+			}
+		})
+	}
+}
+
+// A process that has just taken over is told to end while the one before still has an open request: nobody is to go on, the request is
+// answered, and both end.
+func TestBothEnd(t *testing.T) {
+	h := newHost(t)
+	hold := make(chan struct{})
+	h.hold.Store(&hold)
+	old := h.start().ready()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answered := make(chan int, 1)
+	go func() {
+		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+		answered <- code
+	}()
+	peer.Eventually(t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+	next := h.start().ready()
+	next.cmd.Process.Signal(syscall.SIGTERM)
+	next.ends()
+	close(hold)
+	if code := peer.Within(t, answered, "answer"); code != 200 {
+		t.Errorf("open as both were to end: %d", code)
+	}
+	old.ends()
+}
+
 // What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step: the new process
 // serves in time and does not end for it.
 func TestOldOneGarbles(t *testing.T) {
