--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -188,6 +188,24 @@
 	}
 }
 
+// open has a client whose request is open at an endpoint until h.hold lets it go, and returns where its answer's status comes.
+func (h *host) open() <-chan int {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	before := h.to[0].Load() + h.to[1].Load()
+	answered := make(chan int, 1)
+	go func() {
+		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+		answered <- code
+	}()
+	peer.Eventually(h.t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > before })
+	return answered
+}
+
 // load has clients ask all the time, each on a connection that it keeps and every fourth time on a new one, until the
 // returned function is called. It returns how many asked, and fails the test for each that was not served.
 func (h *host) load(clients int) (stop func() int64) {
@@ -354,6 +372,17 @@
 	}
 }
 
+// asGiver listens as the process that serves.
+func (h *host) asGiver() *takeover.Listener {
+	h.t.Helper()
+	ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
 // asTaker connects as a process that wants to take over, and goes so many steps: asked, ready, prepared.
 func (h *host) asTaker(steps int) *takeover.Conn {
 	h.t.Helper()
@@ -391,26 +420,13 @@
 				defer close(hold)
 				h.hold.Store(&hold)
 				old := h.start().ready()
-				open := func() (net.Conn, *bufio.Reader) {
-					c, err := net.Dial("tcp", h.addr)
-					if err != nil {
-						t.Fatal(err)
-					}
-					t.Cleanup(func() { c.Close() })
-					return c, bufio.NewReader(c)
-				}
-				held := func(ms, length int) string {
-					return head("POST", "/pay/held", fmt.Sprintf("Content-Length: %d\r\nX-Expires-In-Ms: %d\r\n", length, ms))
+				half, err := net.Dial("tcp", h.addr)
+				if err != nil {
+					t.Fatal(err)
 				}
-				half, halfIn := open()
-				io.WriteString(half, held(3000, 2)+"o")
-				waits, waitsIn := open()
-				answered := make(chan int, 1)
-				go func() {
-					code, _ := ask(waits, waitsIn, held(9000, 0))
-					answered <- code
-				}()
-				peer.Eventually(t, "a request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+				defer half.Close()
+				io.WriteString(half, head("POST", "/pay/held", "Content-Length: 2\r\nX-Expires-In-Ms: 3000\r\n")+"o")
+				answered := h.open()
 				taker := h.asTaker(steps)
 				defer taker.Close()
 				told := time.Now()
@@ -424,7 +440,7 @@
 				}
 				const killed = 3700 * time.Millisecond
 				time.Sleep(time.Until(told.Add(time.Second))) // whole so late, its own time would end at 4 s
-				code, err := ask(half, halfIn, "k")
+				code, err := ask(half, bufio.NewReader(half), "k")
 				if took := time.Since(told); code != 504 || took > killed {
 					t.Errorf("what was whole later: %d, %v after %v", code, err, took)
 				}
@@ -444,11 +460,7 @@
 		t.Run("after "+heard.String(), func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
-			ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
+			ln := h.asGiver()
 			p := h.start()
 			c, err := ln.Accept()
 			if err != nil {
@@ -496,17 +508,7 @@
 	hold := make(chan struct{})
 	h.hold.Store(&hold)
 	old := h.start().ready()
-	c, err := net.Dial("tcp", h.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	answered := make(chan int, 1)
-	go func() {
-		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
-		answered <- code
-	}()
-	peer.Eventually(t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+	answered := h.open()
 	next := h.start().ready()
 	next.cmd.Process.Signal(syscall.SIGTERM)
 	next.ends()
@@ -538,11 +540,7 @@
 			if err := os.WriteFile(filepath.Join(h.dir, "dunlinsail.words"), words, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
+			ln := h.asGiver()
 			over := make(chan struct{})
 			go func() {
 				defer close(over)
@@ -582,17 +580,7 @@
 	hold := make(chan struct{})
 	h.hold.Store(&hold)
 	old := h.start().ready()
-	c, err := net.Dial("tcp", h.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	answered := make(chan int, 1)
-	go func() { // it keeps the old process alive
-		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
-		answered <- code
-	}()
-	peer.Eventually(t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > 0 })
+	answered := h.open()
 	next := h.start().ready()
 	out := func(p *process, want int) {
 		t.Helper()
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -72,9 +72,22 @@
 	return err
 }
 
-// serveOn runs a sidecar on a listener of the test's own.
-func serveOn(t *testing.T, s *sidecar, ln net.Listener) *running {
+func loopback(t *testing.T) *net.TCPListener {
 	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln.(*net.TCPListener)
+}
+
+// serveOn runs a sidecar with one endpoint on a listener of the test's own.
+func serveOn(t *testing.T, ln net.Listener, endpoint discovery.Instance) *running {
+	t.Helper()
+	s, err := assemble(configure(t, peer.Nowhere(t), []discovery.Instance{endpoint}), nil, peer.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{parts: s, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1)}
 	go func() {
@@ -96,16 +109,8 @@
 // What waits in the listener's queue as it is closed is served: the kernel has accepted it.
 func TestStopServesTheQueue(t *testing.T) {
 	addr := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
-	parts, err := assemble(configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}), nil, peer.Quiet)
-	if err != nil {
-		t.Fatal(err)
-	}
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := &gated{TCPListener: inner.(*net.TCPListener)}
-	s := serveOn(t, parts, ln)
+	ln := &gated{TCPListener: loopback(t)}
+	s := serveOn(t, ln, board.Up("s-1", addr))
 	s.ask(t, look(900)) // it learns how fast the endpoint is
 	ln.hold()
 	if c, err := net.Dial("tcp", s.addr); err == nil { // takes the place of the one that was waited for
@@ -258,16 +263,8 @@
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "ok")
 	})
-	parts, err := assemble(configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}), nil, peer.Quiet)
-	if err != nil {
-		t.Fatal(err)
-	}
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := &accepting{TCPListener: inner.(*net.TCPListener), accepted: make(chan *net.TCPConn, 1000)}
-	s := serveOn(t, parts, ln)
+	ln := &accepting{TCPListener: loopback(t), accepted: make(chan *net.TCPConn, 1000)}
+	s := serveOn(t, ln, board.Up("s-1", addr))
 	s.ask(t, look(900)) // it learns how fast the endpoint is
 	for len(ln.accepted) > 0 {
 		<-ln.accepted
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -391,6 +391,16 @@
 	}
 }
 
+// taken takes a connection.
+func (p *Pool) taken(t *testing.T, to *Target) *Conn {
+	t.Helper()
+	c, err := p.Get(context.Background(), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // An attempt that takes a connection and is withdrawn before its first byte has not used it: to the endpoint it has been idle all the
 // while, and it is not used beyond its age for that, nor before one used later.
 func TestUnusedConnectionKeepsItsAge(t *testing.T) {
@@ -405,19 +415,11 @@
 	if r.Status != balancer.Moot || len(to.idle) != 1 || !to.idle[0].idle.Equal(used) {
 		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idle, used)
 	}
-	old := to.idle[0]
-	ctx := context.Background()
-	if c, err := u.Get(ctx, to); err != nil || c != old {
-		t.Fatalf("the idle connection was not taken (error %v)", err)
-	}
-	fresh, err := u.Get(ctx, to)
-	if err != nil {
-		t.Fatal(err)
-	}
+	old, fresh := u.taken(t, to), u.taken(t, to)
 	u.Put(fresh)
 	u.back(old)
-	if c, err := u.Get(ctx, to); err != nil || c != fresh {
-		t.Errorf("one put back unused went before one used later (error %v)", err)
+	if u.taken(t, to) != fresh {
+		t.Error("one put back unused went before one used later")
 	}
 	u.Put(fresh)
 	old.idle = old.idle.Add(-u.idleMost / 2)
@@ -431,19 +433,11 @@
 	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
 	u := newPool()
 	to := u.at(addr)
-	ctx := context.Background()
-	first, err := u.Get(ctx, to)
-	if err != nil {
-		t.Fatal(err)
-	}
-	second, err := u.Get(ctx, to)
-	if err != nil {
-		t.Fatal(err)
-	}
+	first, second := u.taken(t, to), u.taken(t, to)
 	u.Put(first)
 	u.Put(second)
-	if got, err := u.Get(ctx, to); err != nil || got != second {
-		t.Errorf("the connection used last was not taken (error %v)", err)
+	if u.taken(t, to) != second {
+		t.Error("the connection used last was not taken")
 	}
 }
 
