--- /dev/null
+++ b/internal/sidecar/golden_test.go
@@ -0,0 +1,47 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/platform"
+	"dunlinsail/internal/standin/peer"
+)
+
+// TestWordsOfEarlierBuild reads the file of words by hand that the build of commit 870f4ac wrote, and encodes them to the
+// same bytes, which are also those of the message to another process. The file is never changed: the other process may
+// be of another build.
+func TestWordsOfEarlierBuild(t *testing.T) {
+	golden, err := os.ReadFile("testdata/words.golden.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := &sidecar{config: &platform.Config{Meeting: dir}, log: peer.Quiet}
+	words := s.spoken()
+	want := []bans.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
+	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
+		t.Fatalf("read %+v, want %+v", words, want)
+	}
+	encoded, err := json.Marshal(words)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(encoded, golden) {
+		t.Errorf("encoded again: %s, want %s", encoded, golden)
+	}
+}
+
+// TestPathsOfEarlierBuild holds the names of the files at which two builds of a sidecar meet.
+func TestPathsOfEarlierBuild(t *testing.T) {
+	if meetingPlace != "dunlinsail.takeover" || wordsFile != "dunlinsail.words" {
+		t.Errorf("%q, %q", meetingPlace, wordsFile)
+	}
+}
--- /dev/null
+++ b/internal/takeover/golden_test.go
@@ -0,0 +1,158 @@
+package takeover
+
+import (
+	"bytes"
+	"encoding/hex"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	decide "dunlinsail/internal/decide/takeover"
+)
+
+// The golden files were written by the build of commit 870f4ac. They are never changed: both processes of a hot restart
+// may be of different builds.
+
+// TestStateOfEarlierBuild reads a snapshot in which every field is set, and encodes it to the same bytes.
+func TestStateOfEarlierBuild(t *testing.T) {
+	golden, err := os.ReadFile("testdata/state.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := DecodeState(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(encoded, golden) {
+		t.Errorf("encoded again:\n%s\nwant:\n%s", encoded[headSize:], golden[headSize:])
+	}
+}
+
+// TestMessagesOfEarlierBuild checks the packet of each kind of message, in both directions.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	file, err := os.ReadFile("testdata/messages.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden := map[string][]byte{}
+	for line := range strings.Lines(string(file)) {
+		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if golden[name], err = hex.DecodeString(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	messages := map[string]Message{
+		"hello":     Greeting(),
+		"offer":     {Kind: decide.Offer, Text: []byte("what is offered")},
+		"ready":     {Kind: decide.Ready},
+		"go":        {Kind: decide.Go, Text: []byte("state")},
+		"prepared":  {Kind: decide.Prepared},
+		"yours":     {Kind: decide.Yours},
+		"done":      {Kind: decide.Done},
+		"stopping":  {Kind: decide.Stopping},
+		"refused":   {Kind: decide.Refused, Text: []byte("not ready in time")},
+		"passed":    {Kind: decide.Passed},
+		"took-back": {Kind: decide.TookBack},
+		"handed":    {Kind: Handed},
+		"chunk":     {Kind: chunk, Text: []byte("part")},
+		"words":     {Kind: Words, Text: []byte(`[{"Name":"s-0","Out":true,"At":1}]`)},
+	}
+	if len(golden) != len(messages) {
+		t.Errorf("%d golden messages, %d here", len(golden), len(messages))
+	}
+	for name, m := range messages {
+		t.Run(name, func(t *testing.T) {
+			packet := golden[name]
+			if packet == nil {
+				t.Fatal("no golden packet")
+			}
+			sender, receiver := pair(t)
+			if err := sender.Write(m); err != nil {
+				t.Fatal(err)
+			}
+			if got := readPacket(t, receiver); !bytes.Equal(got, packet) {
+				t.Errorf("written as %x, want %x", got, packet)
+			}
+			if _, err := sender.c.Write(packet); err != nil {
+				t.Fatal(err)
+			}
+			want := m
+			if m.Kind == chunk { // a chunk is the beginning of the message that follows
+				if err := sender.Write(Message{Kind: decide.Ready}); err != nil {
+					t.Fatal(err)
+				}
+				want.Kind = decide.Ready
+			}
+			got, err := receiver.Read()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.Kind != want.Kind || !bytes.Equal(got.Text, want.Text) || len(got.Files) != 0 {
+				t.Errorf("read %v %q with %d files, want %v %q", byte(got.Kind), got.Text, len(got.Files), byte(want.Kind), want.Text)
+			}
+		})
+	}
+}
+
+// TestLongMessageOfEarlierBuild checks how a long message is cut into packets, and where its open files are.
+func TestLongMessageOfEarlierBuild(t *testing.T) {
+	sender, receiver := pair(t)
+	text := bytes.Repeat([]byte("0123456789abcdef"), 4096+1)
+	if err := sender.Write(Message{Kind: decide.Offer, Text: text, Socks: []syscall.Conn{sender.c}}); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []struct {
+		kind  byte
+		text  []byte
+		files int
+	}{
+		{kind: 101, text: text[:32<<10]},
+		{kind: 101, text: text[32<<10 : 64<<10]},
+		{kind: 1, text: text[64<<10:], files: 1},
+	} {
+		buf := make([]byte, 1<<17)
+		oob := make([]byte, 1024)
+		n, oobn, _, _, err := receiver.c.ReadMsgUnix(buf, oob)
+		if err != nil {
+			t.Fatal(err)
+		}
+		files, err := received(oob[:oobn])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			f.Close()
+		}
+		if buf[0] != want.kind || !bytes.Equal(buf[1:n], want.text) || len(files) != want.files {
+			t.Errorf("packet %d: kind %d, %d bytes, %d files", i, buf[0], n, len(files))
+		}
+	}
+}
+
+func pair(t *testing.T) (sender, receiver *Conn) {
+	t.Helper()
+	sender, receiver, err := Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		sender.Close()
+		receiver.Close()
+	})
+	return sender, receiver
+}
+
+func readPacket(t *testing.T, c *Conn) []byte {
+	t.Helper()
+	buf := make([]byte, 1<<17)
+	n, err := c.c.Read(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return buf[:n]
+}
