--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -53,9 +53,9 @@
 
 // offer is what a giver offers with its listening sockets.
 type offer struct {
-	Listeners []string // their addresses as the giver's file has them
-	Takeover  bool     // the last socket is the one for takers
-	State     []byte
+	Listeners []string `json:"Listeners"` // their addresses as the giver's file has them
+	Takeover  bool     `json:"Takeover"`  // the last socket is the one for takers
+	State     []byte   `json:"State"`
 }
 
 // newLife returns the life of a generation. With a connection to a giver in this process it takes over from that and from
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -75,10 +75,10 @@
 
 // View is what an instance tells of its fleet.
 type View struct {
-	Name    string
-	Members []peers.Member
-	Fleet   words.View
-	Words   peers.Figures
+	Name    string         `json:"Name"`
+	Members []peers.Member `json:"Members"`
+	Fleet   words.View     `json:"Fleet"`
+	Words   peers.Figures  `json:"Words"`
 }
 
 // view returns it, as JSON.
--- a/internal/takeover/snapshot.go
+++ b/internal/takeover/snapshot.go
@@ -13,8 +13,8 @@
 
 // State is what one process tells another that takes its place.
 type State struct {
-	Taken int64 // the host's monotonic clock, in microseconds: the same in all its processes
-	Core  *engine.Snapshot
+	Taken int64            `json:"Taken"` // the host's monotonic clock, in microseconds: the same in all its processes
+	Core  *engine.Snapshot `json:"Core"`
 }
 
 // FormatVersion is that of a State's form. Another's is refused as a whole: the taker then starts with what
