--- a/internal/decide/bans/bans.go
+++ b/internal/decide/bans/bans.go
@@ -13,9 +13,9 @@
 
 // Word is what was said of a name.
 type Word struct {
-	Name string
-	Out  bool
-	At   Micros
+	Name string `json:"Name"`
+	Out  bool   `json:"Out"`
+	At   Micros `json:"At"`
 }
 
 // keep is for how long a word that lets a name in is kept: an older one that says out may still be on its way from
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/shares/shares.go
@@ -319,7 +319,10 @@
 }
 
 // Times is how long requests of a class take.
-type Times struct{ Mean, Dev float64 }
+type Times struct {
+	Mean float64 `json:"Mean"`
+	Dev  float64 `json:"Dev"`
+}
 
 // Learned returns how long requests of each class take, zero where that is not known.
 func (x *Scheduler) Learned() []Times {
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -12,11 +12,11 @@
 
 // Orders are what an instance has to obey.
 type Orders struct {
-	Wait  bool     // no order has been heard yet: nothing goes anywhere
-	Stop  []string // nothing new goes there; who is let in again has been worked on, and is cold
-	Ahead []string // nothing new goes there once the order holds no more,
-	Until Micros   // from this instant on,
-	End   Micros   // and what is still open there and at those in Stop is ended from this one
+	Wait  bool     `json:"Wait"`  // no order has been heard yet: nothing goes anywhere
+	Stop  []string `json:"Stop"`  // nothing new goes there; who is let in again has been worked on, and is cold
+	Ahead []string `json:"Ahead"` // nothing new goes there once the order holds no more,
+	Until Micros   `json:"Until"` // from this instant on,
+	End   Micros   `json:"End"`   // and what is still open there and at those in Stop is ended from this one
 }
 
 // ordered is what is obeyed; the zero value is nothing.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -190,12 +190,14 @@
 
 // Member is an entry of the list of endpoints, with names where the balancer has numbers.
 type Member struct {
-	Name, Addr string // Addr may be empty for what is gone
-	Zone, Kind string
-	Cell       uint16
-	State      balancer.State
-	Weight     float32
-	Started    Micros // Unix time of its latest start; 0 for long ago
+	Name    string         `json:"Name"`
+	Addr    string         `json:"Addr"` // may be empty for what is gone
+	Zone    string         `json:"Zone"`
+	Kind    string         `json:"Kind"`
+	Cell    uint16         `json:"Cell"`
+	State   balancer.State `json:"State"`
+	Weight  float32        `json:"Weight"`
+	Started Micros         `json:"Started"` // Unix time of its latest start; 0 for long ago
 }
 
 // Told is news of the list of endpoints. The generations of one discovery only grow.
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -15,11 +15,11 @@
 // learned, by names, since the numbers of one engine mean nothing to another. Parts that do not fit the other's settings
 // are passed over there, part by part.
 type Snapshot struct {
-	Pools []PoolSnapshot
-	Words []bans.Word // on endpoints by hand
+	Pools []PoolSnapshot `json:"Pools"`
+	Words []bans.Word    `json:"Words"` // on endpoints by hand
 
-	Fleet *loans.State `json:",omitempty"` // what GiveFleet returned; nil is nothing
-	Order *Orders      `json:",omitempty"` // what is obeyed of machines out, with times from the snapshot's instant on; nil is nothing
+	Fleet *loans.State `json:"Fleet,omitempty"` // what GiveFleet returned; nil is nothing
+	Order *Orders      `json:"Order,omitempty"` // what is obeyed of machines out, with times from the snapshot's instant on; nil is nothing
 }
 
 // Pool returns what is held of a pool by its name, nil if nothing is.
@@ -34,31 +34,50 @@
 
 // PoolSnapshot is what a pool holds.
 type PoolSnapshot struct {
-	Name, Source string
-	Generation   int64
-	Members      []Member
-
-	Classes []ClassLearned
-	Tenants []TenantLearned
-	Names   []string // of the endpoints in Learned, in its order
-	Learned *balancer.Learned
-
-	Level float64            // of the overload (package overload); 0 where that is not decided
-	Limit float64            // requests in flight; 0 where that is not learned
-	Alone map[string]float64 // time of a class's request with hardly any others, in microseconds
+	Name       string   `json:"Name"`
+	Source     string   `json:"Source"`
+	Generation int64    `json:"Generation"`
+	Members    []Member `json:"Members"`
+
+	Classes []ClassLearned    `json:"Classes"`
+	Tenants []TenantLearned   `json:"Tenants"`
+	Names   []string          `json:"Names"` // of the endpoints in Learned, in its order
+	Learned *balancer.Learned `json:"Learned"`
+
+	Level float64            `json:"Level"` // of the overload (package overload); 0 where that is not decided
+	Limit float64            `json:"Limit"` // requests in flight; 0 where that is not learned
+	Alone map[string]float64 `json:"Alone"` // time of a class's request with hardly any others, in microseconds
 }
 
 // ClassLearned is what is known of a class. Meaning tells whether another's class of this name is the same.
 type ClassLearned struct {
-	Name, Meaning string
-	Times         shares.Times
+	Name    string       `json:"Name"`
+	Meaning string       `json:"Meaning"`
+	Times   shares.Times `json:"Times"`
 }
 
 // TenantLearned is a tenant of the settings.
-type TenantLearned struct{ Name, Meaning string }
+type TenantLearned struct {
+	Name    string `json:"Name"`
+	Meaning string `json:"Meaning"`
+}
+
+// The stored forms of a class and of a tenant. Two builds compare them for equality, so the names in them are those of the first
+// build that wrote them, and never change.
+const (
+	classForm  = "{Name:%v Repeat:%v Group:%v Window:%v Aim:%v GiveUp:%v Worth:%v LateWorth:%v Stream:%v}"
+	tenantForm = "{Name:%v Allowance:%v Share:%v}"
+)
 
-// meaning is what a class is, apart from its place.
-func meaning(v any) string { return fmt.Sprintf("%+v", v) }
+// classMeaning is what a class is, apart from its place.
+func classMeaning(c *balancer.Class) string {
+	return fmt.Sprintf(classForm, c.Name, c.Repeat, c.Group, c.Window, c.Aim, c.GiveUp, c.Worth, c.LateWorth, c.Stream)
+}
+
+// tenantMeaning is what a tenant is, apart from its place.
+func tenantMeaning(t *balancer.Tenant) string {
+	return fmt.Sprintf(tenantForm, t.Name, t.Allowance, t.Share)
+}
 
 // Snapshot returns what the engine holds.
 func (x *Engine) Snapshot(now Micros) *Snapshot {
@@ -97,10 +116,10 @@
 	times := p.shares.Learned()
 	settings := &p.engine.config.Site.Settings
 	for i := range settings.Classes {
-		s.Classes = append(s.Classes, ClassLearned{p.engine.config.Site.Classes[i], meaning(settings.Classes[i]), times[i]})
+		s.Classes = append(s.Classes, ClassLearned{p.engine.config.Site.Classes[i], classMeaning(&settings.Classes[i]), times[i]})
 	}
 	for i := range settings.Tenants {
-		s.Tenants = append(s.Tenants, TenantLearned{p.engine.config.Site.Tenants[i], meaning(settings.Tenants[i])})
+		s.Tenants = append(s.Tenants, TenantLearned{p.engine.config.Site.Tenants[i], tenantMeaning(&settings.Tenants[i])})
 	}
 	names := map[uint32]string{}
 	for name, e := range p.byName {
@@ -168,7 +187,7 @@
 	from := make([]int, 0, len(settings.Classes)+len(settings.Tenants)) // places of our parts among theirs, or -1
 	for i, name := range p.engine.config.Site.Classes {
 		at := slices.IndexFunc(s.Classes, func(c ClassLearned) bool {
-			return c.Name == name && c.Meaning == meaning(settings.Classes[i])
+			return c.Name == name && c.Meaning == classMeaning(&settings.Classes[i])
 		})
 		from = append(from, at)
 		if at < 0 {
@@ -181,7 +200,7 @@
 	}
 	for i, name := range p.engine.config.Site.Tenants {
 		at := slices.IndexFunc(s.Tenants, func(t TenantLearned) bool {
-			return t.Name == name && t.Meaning == meaning(settings.Tenants[i])
+			return t.Name == name && t.Meaning == tenantMeaning(&settings.Tenants[i])
 		})
 		rate := 0.0
 		if at >= 0 && at < len(s.Learned.Tenants) {
--- /dev/null
+++ b/internal/engine/snapshot_golden_test.go
@@ -0,0 +1,285 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/shares"
+)
+
+// The files in testdata were written by the build of commit 870f4ac, before any stored name was written down as a tag. A process
+// of that build and one of this build may replace each other, so the files must never be written anew.
+
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func encodeSnapshot(t *testing.T, s *Snapshot) []byte {
+	t.Helper()
+	text, err := json.Marshal(s) // as takeover.State does
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func decodeSnapshot(t *testing.T, text []byte) *Snapshot {
+	t.Helper()
+	s := &Snapshot{}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// fill gives every field reached from v a value of its own: numbers count up, and lists have two entries.
+func fill(t *testing.T, v reflect.Value, next *int) {
+	t.Helper()
+	*next++
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i), next)
+		}
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(t, v.Elem(), next)
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		for i := range v.Len() {
+			fill(t, v.Index(i), next)
+		}
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(t, v.Index(i), next)
+		}
+	case reflect.Map:
+		v.Set(reflect.MakeMap(v.Type()))
+		for range 2 {
+			key := reflect.New(v.Type().Key()).Elem()
+			fill(t, key, next)
+			value := reflect.New(v.Type().Elem()).Elem()
+			fill(t, value, next)
+			v.SetMapIndex(key, value)
+		}
+	case reflect.String:
+		v.SetString(fmt.Sprint("text-", *next))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(*next))
+	case reflect.Uint8:
+		v.SetUint(uint64(*next%2 + 1))
+	case reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(*next))
+	case reflect.Float32, reflect.Float64:
+		v.SetFloat(float64(*next) + 0.5)
+	default:
+		t.Fatalf("no value for %s", v.Type())
+	}
+}
+
+func filledSnapshot(t *testing.T) *Snapshot {
+	t.Helper()
+	s := &Snapshot{}
+	next := 0
+	fill(t, reflect.ValueOf(s).Elem(), &next)
+	return s
+}
+
+// A snapshot in which every field has a value is written, byte for byte, as the build before wrote it, and read in full.
+func TestSnapshotFormHasNotChanged(t *testing.T) {
+	want := golden(t, "snapshot-filled.json")
+	s := filledSnapshot(t)
+	if got := encodeSnapshot(t, s); !bytes.Equal(got, want) {
+		t.Errorf("a snapshot is written as\n%s\nwant\n%s", got, want)
+	}
+	decoded := decodeSnapshot(t, want)
+	if !reflect.DeepEqual(decoded, s) {
+		t.Errorf("read as\n%+v\nwant\n%+v", decoded, s)
+	}
+	if got := encodeSnapshot(t, decoded); !bytes.Equal(got, want) {
+		t.Errorf("read and written again as\n%s\nwant\n%s", got, want)
+	}
+}
+
+// A snapshot without anything in it is written as the build before wrote it: what is left out when empty, and what is null.
+func TestEmptySnapshotFormHasNotChanged(t *testing.T) {
+	want := golden(t, "snapshot-empty.json")
+	if got := encodeSnapshot(t, &Snapshot{Pools: []PoolSnapshot{{}}}); !bytes.Equal(got, want) {
+		t.Errorf("written as\n%s\nwant\n%s", got, want)
+	}
+	if got := encodeSnapshot(t, decodeSnapshot(t, want)); !bytes.Equal(got, want) {
+		t.Errorf("read and written again as\n%s\nwant\n%s", got, want)
+	}
+}
+
+// goldenEngine is an engine with all that a snapshot holds: tenants, an overload level, a limit that is learned, a part in a fleet.
+func goldenEngine(t *testing.T) (*Engine, *Pool, *carrier) {
+	t.Helper()
+	h := &carrier{answers: map[string]Answer{}}
+	s := tenantSite(10, 1, 0)
+	s.Settings.Fields = []balancer.Field{balancer.FieldInflight, balancer.FieldServed, balancer.FieldUtil}
+	s.Settings.Contract.RampTime = 20 * second
+	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &limit.Settings{Least: 1, Most: 200, First: 20}}})
+	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
+	err := x.Join(Together{Uses: uses, Tell: func(string, fleet.Word) {}, Lives: func() uint64 { return 7 },
+		Fleet: fleet.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
+			Loans: loans.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := overload.Shipped()
+	o.Instances = 1
+	p, err := x.NewPool(PoolConfig{Name: "front", Source: "test", Known: Told{Generation: -1}, Watch: func(bool) {}, Overload: &o})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Begin(0)
+	return x, p, h
+}
+
+// goldenRun has the engine serve requests for a while, some of which fail, and returns when that is over.
+func goldenRun(t *testing.T, x *Engine, p *Pool, h *carrier) Micros {
+	t.Helper()
+	var list []Member
+	for i := range 4 {
+		list = append(list, Member{Name: fmt.Sprint("e", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z", Kind: "k", Cell: uint16(i), Weight: 1})
+	}
+	p.Members(0, Told{Kind: balancer.ListFull, Generation: 1, Members: list})
+	x.BeginFleet(0)
+	now := Micros(0)
+	for i := range 3000 {
+		now += second / 100
+		run(x, now)
+		if i == 2900 { // one that is still warming up when the snapshot is taken
+			p.Members(now, Told{Kind: balancer.ListDelta, Generation: 2,
+				Members: []Member{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, Started: now}}})
+		}
+		c, err := NewClient(shares.Spec{Weight: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(i), Arrived: now,
+			In: balancer.Request{Class: uint8(i % 2), Tenant: uint16(i % 3 % 2), Deadline: now + 500_000}})
+		for n := 0; len(h.started) > 0; n++ {
+			a := h.started[0]
+			h.started = slices.Delete(h.started, 0, 1)
+			reply := Reply{Status: balancer.OK, At: now + 3000 + Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
+			if a.Endpoint.Name == "e1" && i%4 != 0 {
+				reply.Status = balancer.Error
+			}
+			x.Ended(reply.At, a, reply)
+		}
+	}
+	now += second / 100
+	run(x, now)
+	if _, known := x.ByHand(now, "e3", true, now); !known {
+		t.Fatal("e3 is not known")
+	}
+	return now
+}
+
+func goldenSnapshot(t *testing.T) (*Snapshot, Micros) {
+	t.Helper()
+	x, p, h := goldenEngine(t)
+	now := goldenRun(t, x, p, h)
+	s := x.Snapshot(now)
+	s.Fleet = x.GiveFleet(now)
+	s.Order = &Orders{Stop: []string{"e0"}, Ahead: []string{"e1"}, Until: now + second, End: now + 2*second}
+	return s, now
+}
+
+// What an engine has learned is written as the build before wrote it.
+func TestSnapshotOfARunHasNotChanged(t *testing.T) {
+	s, _ := goldenSnapshot(t)
+	if got, want := encodeSnapshot(t, s), golden(t, "snapshot-run.json"); !bytes.Equal(got, want) {
+		t.Errorf("written as\n%s\nwant\n%s", got, want)
+	}
+}
+
+// What the build before wrote is taken over in full, and what the engine then holds is written as the build before wrote it after
+// the same takeover.
+func TestRestoresSnapshotOfTheBuildBefore(t *testing.T) {
+	s := decodeSnapshot(t, golden(t, "snapshot-run.json"))
+	_, now := goldenSnapshot(t)
+	x, _, _ := goldenEngine(t)
+	if passedOver := x.Restore(now+1000, 1000, s); len(passedOver) != 0 {
+		t.Errorf("passed over: %q", passedOver)
+	}
+	again := x.Snapshot(now + 1000)
+	again.Fleet = x.GiveFleet(now + 1000)
+	again.Order = s.Order
+	if got, want := encodeSnapshot(t, again), golden(t, "snapshot-restored.json"); !bytes.Equal(got, want) {
+		t.Errorf("written as\n%s\nwant\n%s", got, want)
+	}
+}
+
+// The stored form of a class, by which two builds tell whether they mean the same, was %+v in the build before.
+func TestClassMeaningHasNotChanged(t *testing.T) {
+	for _, c := range []struct {
+		class balancer.Class
+		want  string
+	}{
+		{balancer.Class{},
+			"{Name: Repeat:0 Group:0 Window:0 Aim:0 GiveUp:0 Worth:0 LateWorth:0 Stream:false}"},
+		{balancer.Class{Name: "look", Repeat: balancer.Safe, Aim: 200_000, GiveUp: 500_000, Worth: 1, LateWorth: 0.25},
+			"{Name:look Repeat:0 Group:0 Window:0 Aim:200000 GiveUp:500000 Worth:1 LateWorth:0.25 Stream:false}"},
+		{balancer.Class{Name: "a class", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 60_000_000,
+			Aim: 1, GiveUp: -1, Worth: 1e21, LateWorth: 1e-7, Stream: true},
+			"{Name:a class Repeat:1 Group:2 Window:60000000 Aim:1 GiveUp:-1 Worth:1e+21 LateWorth:1e-07 Stream:true}"},
+		{balancer.Class{Name: "x", Repeat: balancer.Unsafe, Group: balancer.GroupZone, Worth: 123456789.125, LateWorth: 1.0 / 3},
+			"{Name:x Repeat:2 Group:1 Window:0 Aim:0 GiveUp:0 Worth:1.23456789125e+08 LateWorth:0.3333333333333333 Stream:false}"},
+		{balancer.Class{Name: "{\n%v", Worth: 1e20, LateWorth: 0.0001},
+			"{Name:{\n%v Repeat:0 Group:0 Window:0 Aim:0 GiveUp:0 Worth:1e+20 LateWorth:0.0001 Stream:false}"},
+	} {
+		if got := classMeaning(&c.class); got != c.want {
+			t.Errorf("%q, want %q", got, c.want)
+		}
+	}
+}
+
+// The stored form of a tenant was %+v, too.
+func TestTenantMeaningHasNotChanged(t *testing.T) {
+	for _, c := range []struct {
+		tenant balancer.Tenant
+		want   string
+	}{
+		{balancer.Tenant{}, "{Name: Allowance:0 Share:0}"},
+		{balancer.Tenant{Name: "t", Allowance: 10, Share: 0.5}, "{Name:t Allowance:10 Share:0.5}"},
+		{balancer.Tenant{Name: "two words", Allowance: 1e21, Share: 1.0 / 3},
+			"{Name:two words Allowance:1e+21 Share:0.3333333333333333}"},
+	} {
+		if got := tenantMeaning(&c.tenant); got != c.want {
+			t.Errorf("%q, want %q", got, c.want)
+		}
+	}
+}
+
+// A field that is added to a class or a tenant belongs into its stored form.
+func TestMeaningHasAllFields(t *testing.T) {
+	for form, v := range map[string]any{classForm: balancer.Class{}, tenantForm: balancer.Tenant{}} {
+		if written, fields := strings.Count(form, "%v"), reflect.TypeOf(v).NumField(); written != fields {
+			t.Errorf("%T: %d of %d fields are written", v, written, fields)
+		}
+	}
+}
