Tag gossip messages, quota state and fleet views with the names they are stored under

go test -race on decide/{lease,loans,evidence,fleet,bans}, peers, engine and model/talk: ok; go test -run Form ./internal/daemon: ok.

--- a/internal/decide/evidence/evidence.go
+++ b/internal/decide/evidence/evidence.go
@@ -22,38 +22,39 @@
 
 // Count is how often attempts of a class of requests at an endpoint ended well and not, lately.
 type Count struct {
-	Endpoint   string
-	Class      int
-	OK, Failed float64
+	Endpoint string  `cbor:"Endpoint"`
+	Class    int     `cbor:"Class"`
+	OK       float64 `cbor:"OK"`
+	Failed   float64 `cbor:"Failed"`
 }
 
 // Level is what an instance has met in turning work away from one set of endpoints (package overload) since it told last.
 type Level struct {
-	Of    string  // the set's name
-	Level float64 // at which it is
-	Load  float64 // the part of its aim that a request spends at endpoints
-	Asked float64 // requests that came, and of these such as went on
-	Vain  float64 // in vain
+	Of    string  `cbor:"Of"`    // the set's name
+	Level float64 `cbor:"Level"` // at which it is
+	Load  float64 `cbor:"Load"`  // the part of its aim that a request spends at endpoints
+	Asked float64 `cbor:"Asked"` // requests that came, and of these such as went on
+	Vain  float64 `cbor:"Vain"`  // in vain
 }
 
 // Seen is what one instance has seen.
 type Seen struct {
-	Levels []Level
-	Counts []Count
+	Levels []Level `cbor:"Levels"`
+	Counts []Count `cbor:"Counts"`
 }
 
 // Suspect is an endpoint that fails much of a class of requests.
 type Suspect struct {
-	Endpoint string
-	Class    int
-	Chance   float64 // with which it is better left out
+	Endpoint string  `cbor:"Endpoint"`
+	Class    int     `cbor:"Class"`
+	Chance   float64 `cbor:"Chance"` // with which it is better left out
 }
 
 // All is what all instances have seen.
 type All struct {
-	Levels   []Level // means of levels and loads by what is asked for; sums of the others since All was called last
-	Members  int     // that it is of
-	Suspects []Suspect
+	Levels   []Level   `cbor:"Levels"`  // means of levels and loads by what is asked for; sums of the others since All was called last
+	Members  int       `cbor:"Members"` // that it is of
+	Suspects []Suspect `cbor:"Suspects"`
 }
 
 // Own is what an instance has seen. The zero value has seen nothing.
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -31,11 +31,11 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Lease *lease.Word
-	Ask   *loans.Ask
-	Seen  *evidence.Seen // with Ask
-	Grant *loans.Grant
-	All   *evidence.All // with Grant
+	Lease *lease.Word    `cbor:"Lease"`
+	Ask   *loans.Ask     `cbor:"Ask"`
+	Seen  *evidence.Seen `cbor:"Seen"` // with Ask
+	Grant *loans.Grant   `cbor:"Grant"`
+	All   *evidence.All  `cbor:"All"` // with Grant
 }
 
 // Out is a word that is to be told.
@@ -328,21 +328,21 @@
 
 // View is what an instance knows of its fleet.
 type View struct {
-	Begun    bool
-	Book     string // who keeps it, as far as is known
-	HeardAgo Micros // from the book
-	Loan     Micros // until the loan in force ends; 0 is that there is none
-	Shares   []Share
-	Members  int          // whose words the book has
-	Learning Micros       // keeping the book, until it lends anew; 0 is that it does
-	Loans    []loans.Loan // if it keeps the book
+	Begun    bool         `json:"Begun"`
+	Book     string       `json:"Book"`     // who keeps it, as far as is known
+	HeardAgo Micros       `json:"HeardAgo"` // from the book
+	Loan     Micros       `json:"Loan"`     // until the loan in force ends; 0 is that there is none
+	Shares   []Share      `json:"Shares"`
+	Members  int          `json:"Members"`  // whose words the book has
+	Learning Micros       `json:"Learning"` // keeping the book, until it lends anew; 0 is that it does
+	Loans    []loans.Loan `json:"Loans"`    // if it keeps the book
 }
 
 // Share is what an instance may spend of a budget.
 type Share struct {
-	Budget  string
-	Allowed int // within a second
-	Spent   int // within the last
+	Budget  string `json:"Budget"`
+	Allowed int    `json:"Allowed"` // within a second
+	Spent   int    `json:"Spent"`   // within the last
 }
 
 // View returns what the instance knows.
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -58,11 +58,11 @@
 
 // Word is what voters tell one another.
 type Word struct {
-	Kind   Kind
-	Life   uint64 // of the process that asks
-	Number uint64 // of its question
-	Holder string // with No: whose the vote is, "" for nobody's yet,
-	Left   Micros // and for how long at most
+	Kind   Kind   `cbor:"Kind"`
+	Life   uint64 `cbor:"Life"`   // of the process that asks
+	Number uint64 `cbor:"Number"` // of its question
+	Holder string `cbor:"Holder"` // with No: whose the vote is, "" for nobody's yet,
+	Left   Micros `cbor:"Left"`   // and for how long at most
 }
 
 // Out is a word that is to be told to a voter.
@@ -73,9 +73,9 @@
 
 // Term names one holding of the lease, from when it was won without a gap. The zero value is none.
 type Term struct {
-	Holder string
-	Life   uint64
-	Number uint64 // of the question by which it was won
+	Holder string `cbor:"Holder" json:"Holder"`
+	Life   uint64 `cbor:"Life" json:"Life"`
+	Number uint64 `cbor:"Number" json:"Number"` // of the question by which it was won
 }
 
 // vote is what a voter has given.
--- a/internal/decide/loans/book.go
+++ b/internal/decide/loans/book.go
@@ -255,14 +255,14 @@
 
 // Loan is what a holder is taken to have of a budget, for people.
 type Loan struct {
-	Holder string
-	Life   uint64
-	Budget string
-	Units  int
-	Target int // that it is to have once others have given it back
-	Asked  float64
-	Until  Micros // nobody else has it before then
-	Heard  Micros // from the holder
+	Holder string  `json:"Holder"`
+	Life   uint64  `json:"Life"`
+	Budget string  `json:"Budget"`
+	Units  int     `json:"Units"`
+	Target int     `json:"Target"` // that it is to have once others have given it back
+	Asked  float64 `json:"Asked"`
+	Until  Micros  `json:"Until"` // nobody else has it before then
+	Heard  Micros  `json:"Heard"` // from the holder
 }
 
 // Loans returns all loans.
--- a/internal/decide/loans/holder.go
+++ b/internal/decide/loans/holder.go
@@ -276,21 +276,21 @@
 
 // State is what a process that takes another's place has to know, with ages in place of instants.
 type State struct {
-	Life   uint64
-	Number uint64
-	Term   lease.Term
-	Of     uint64
-	OfTerm lease.Term
-	Left   Micros // of the loan in force
-	Age    Micros // of the process
-	Pots   []PotState
+	Life   uint64     `json:"Life"`
+	Number uint64     `json:"Number"`
+	Term   lease.Term `json:"Term"`
+	Of     uint64     `json:"Of"`
+	OfTerm lease.Term `json:"OfTerm"`
+	Left   Micros     `json:"Left"` // of the loan in force
+	Age    Micros     `json:"Age"`  // of the process
+	Pots   []PotState `json:"Pots"`
 }
 
 // PotState is what was lent and spent of one budget.
 type PotState struct {
-	Budget string
-	Lent   int
-	Spent  []Micros // how long ago, of each unit of the last second
+	Budget string   `json:"Budget"`
+	Lent   int      `json:"Lent"`
+	Spent  []Micros `json:"Spent"` // how long ago, of each unit of the last second
 }
 
 // State returns what the holder holds.
--- a/internal/decide/loans/loans.go
+++ b/internal/decide/loans/loans.go
@@ -87,35 +87,35 @@
 
 // Want is what a holder says of a budget.
 type Want struct {
-	Budget string
-	Asked  float64 // units a second that it would spend
-	Used   float64 // that it spent of late
-	Holds  int     // units of the loan in force
-	Earns  float64 // of a budget that holders earn: what this one adds to it
+	Budget string  `cbor:"Budget"`
+	Asked  float64 `cbor:"Asked"` // units a second that it would spend
+	Used   float64 `cbor:"Used"`  // that it spent of late
+	Holds  int     `cbor:"Holds"` // units of the loan in force
+	Earns  float64 `cbor:"Earns"` // of a budget that holders earn: what this one adds to it
 }
 
 // Ask is a holder's question: what may I spend?
 type Ask struct {
-	Life   uint64     // of the holder
-	Number uint64     // of the question; they grow
-	Term   lease.Term // of the book that is asked, as far as the holder knows it: a book answers no question of another term with a loan
-	Of     uint64     // the loan in force, by its serial; 0 is none
-	OfTerm lease.Term // and who lent it
-	Wants  []Want
+	Life   uint64     `cbor:"Life"`   // of the holder
+	Number uint64     `cbor:"Number"` // of the question; they grow
+	Term   lease.Term `cbor:"Term"`   // of the book that is asked, as far as the holder knows it: a book answers no question of another term with a loan
+	Of     uint64     `cbor:"Of"`     // the loan in force, by its serial; 0 is none
+	OfTerm lease.Term `cbor:"OfTerm"` // and who lent it
+	Wants  []Want     `cbor:"Wants"`
 }
 
 // Share is what of a budget a loan gives.
 type Share struct {
-	Budget string
-	Units  int
+	Budget string `cbor:"Budget"`
+	Units  int    `cbor:"Units"`
 }
 
 // Grant answers an Ask.
 type Grant struct {
-	Life   uint64
-	Number uint64 // of the question
-	Term   lease.Term
-	Serial uint64 // of the loan; 0 is that this is none: ask again, in this term
-	Length Micros // from when the question went out, by the holder's clock
-	Shares []Share
+	Life   uint64     `cbor:"Life"`
+	Number uint64     `cbor:"Number"` // of the question
+	Term   lease.Term `cbor:"Term"`
+	Serial uint64     `cbor:"Serial"` // of the loan; 0 is that this is none: ask again, in this term
+	Length Micros     `cbor:"Length"` // from when the question went out, by the holder's clock
+	Shares []Share    `cbor:"Shares"`
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,10 +38,10 @@
 
 // Member is an instance, as far as is known here.
 type Member struct {
-	Name    string
-	Address string
-	Alive   bool
-	Since   time.Time // it is so
+	Name    string    `json:"Name"`
+	Address string    `json:"Address"`
+	Alive   bool      `json:"Alive"`
+	Since   time.Time `json:"Since"` // it is so
 }
 
 // Peers is an instance's place among the others. Its methods may be called from many goroutines.
@@ -173,7 +173,13 @@
 }
 
 // Figures are what the words come to.
-type Figures struct{ Sent, Heard, Bytes, Dropped, Spoilt uint64 }
+type Figures struct {
+	Sent    uint64 `json:"Sent"`
+	Heard   uint64 `json:"Heard"`
+	Bytes   uint64 `json:"Bytes"`
+	Dropped uint64 `json:"Dropped"`
+	Spoilt  uint64 `json:"Spoilt"`
+}
 
 // Figures returns them.
 func (p *Peers) Figures() Figures {
