Golden files of experiment stores, access records and event lines

Names in these packages are about to change, and what they store and send must not: dunlinlab reads stores of earlier builds and plays jobs for them, dunlinsaild's access records and sidecars' event lines are read by later builds.

Tests read them to equal values, and show that the code writes the same: JSON and event lines byte for byte, Parquet by schema, columns, values and metadata, a store by key and run.

--- /dev/null
+++ b/internal/events/golden_test.go
@@ -0,0 +1,100 @@
+package events
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/engine"
+)
+
+// goldenLog is what a build wrote before names in this package changed. It is never written anew.
+var goldenLog = filepath.Join("testdata", "events.log")
+
+// goldenEvents are the events of goldenLog.
+var goldenEvents = []Event{
+	{1, "sent", "node-1", "", "", 0},
+	{2, "sent", "node_with_blanks", "", "", 0},
+	{10, "ended", "node-1", "", "ok", 1001},
+	{11, "ended", "node-1", "", "error", 1002},
+	{12, "ended", "node-1", "", "full", 1003},
+	{13, "ended", "node-1", "", "timeout", 1004},
+	{14, "ended", "node-1", "", "connect", 1005},
+	{15, "ended", "node-1", "", "reset", 1006},
+	{16, "ended", "node-1", "", "cancelled", 1007},
+	{17, "ended", "node-1", "", "moot", 1008},
+	{20, "probed", "node-2", "", "ok", 55},
+	{21, "probed", "node-2", "", "timeout", 56},
+	{30, "told", "node-1", "10.0.0.1:80", "ready", 0},
+	{30, "told", "node-2", "10.0.0.2:80", "draining", 0},
+	{30, "told", "node-3", "", "gone", 0},
+	{77, "asked", "", "", "ok", 0},
+	{77, "asked", "", "", "failed", 0},
+	{77, "dialed", "10.0.0.9:80", "", "failed", 0},
+	{77, "dialed", "10.0.0.1:80", "", "ok", 0},
+	{77, "closed", "10.0.0.1:80", "", "", 0},
+}
+
+// writeGoldenEvents has a log write the events of goldenLog.
+func writeGoldenEvents(t *testing.T) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	l := NewLog(&out, func() balancer.Micros { return 77 })
+	l.Sent(1, "node-1")
+	l.Sent(2, "node with blanks")
+	outcomes := []balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed,
+		balancer.Reset, balancer.Cancelled, balancer.Moot}
+	for i, s := range outcomes {
+		l.Ended(balancer.Micros(10+i), "node-1", s, balancer.Micros(1001+i))
+	}
+	l.Probed(20, "node-2", balancer.OK, 55)
+	l.Probed(21, "node-2", balancer.Timeout, 56)
+	l.Told(30, engine.Told{Members: []engine.Member{
+		{Name: "node-1", Addr: "10.0.0.1:80", State: balancer.Ready},
+		{Name: "node-2", Addr: "10.0.0.2:80", State: balancer.Draining},
+		{Name: "node-3", State: balancer.Gone},
+	}})
+	l.Asked(nil)
+	l.Asked(errors.New("discovery is down"))
+	if _, err := l.Dialed("10.0.0.9:80", nil, net.ErrClosed); err == nil {
+		t.Error("the error of a dial was lost")
+	}
+	c, err := l.Dialed("10.0.0.1:80", &net.TCPConn{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	return out.Bytes()
+}
+
+// Lines of an earlier build are read to the events that it wrote.
+func TestGoldenEventsAreRead(t *testing.T) {
+	file, err := os.Open(goldenLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	got, err := Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(got, goldenEvents) {
+		t.Errorf("read %+v,\nwant %+v", got, goldenEvents)
+	}
+}
+
+// The same events give the same lines as in an earlier build, byte for byte.
+func TestGoldenEventsAreWritten(t *testing.T) {
+	want, err := os.ReadFile(goldenLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := writeGoldenEvents(t); !bytes.Equal(got, want) {
+		t.Errorf("wrote\n%s\nwant\n%s", got, want)
+	}
+}
--- /dev/null
+++ b/internal/lab/golden_test.go
@@ -0,0 +1,171 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/model/measure"
+	"dunlinsail/internal/model/scenario"
+)
+
+// The files in testdata/golden are what a build wrote before names in this package and in package measure changed. They are
+// never written anew: a store outlives a build, and builds play one another's jobs.
+
+// goldenBuild stands for a program's digest, goldenKey is what goldenJob is known by in store.db.
+const (
+	goldenBuild = "golden build"
+	goldenKey   = "f0862332177a36ccd7d90a7dbb8de02e"
+)
+
+func goldenJob() *Job {
+	return &Job{Scenario: "name = \"golden\"\n", Settings: "[listen]\n", Judge: "[judge]\n", Seed: 11, Lots: 12, Harm: 0.125}
+}
+
+// goldenResult is the result in store.db. All of its fields have values of their own.
+func goldenResult() *measure.Result {
+	return &measure.Result{
+		Scenario: "golden",
+		Seed:     11,
+		Digest:   "0123456789abcdef",
+		Figures:  map[string]float64{"service": 0.875, "p99.look": 12.5, "breaks": 0},
+		Costs: measure.Costs{
+			Tries: 101, Attempts: 102, Cross: 103, Dials: 104, Probes: 105, Offered: 106.5, Worked: 107.5, Useful: 108.5,
+			Decisions: 109, Falls: 110, Drained: 111, Twice: 112, LateAnswer: 113, ClientsTwice: 114, KilledOpen: 115, Words: 116,
+		},
+		Stories: 201,
+		Served:  202,
+		Series: measure.Series{
+			Bin: 301, Service: []float64{302.5, 0}, Asked: []float64{303.5}, Good: []float64{304.5}, Late: []float64{305.5},
+			Lost: []float64{306.5}, Refused: []float64{307.5}, Failed: []float64{308.5}, P50: []float64{309.5},
+			P99: []float64{310.5}, Class: [][]float64{{311.5}, {312.5}}, Zone: [][]float64{{313.5}},
+		},
+		Nodes: []measure.NodeLoad{
+			{Name: "node-1", Zone: 401, Runs: 402, Worked: 403.5, Most: 404, Line: []int64{405, 406}},
+			{Name: "node-2"},
+		},
+		Classes: []measure.ClassTimes{{Name: "look", Count: 501, Quantiles: [][2]float64{{50, 502.5}, {99, 503.5}}}},
+		Seconds: []measure.Second{{First: 601, Further: 602, Probes: 603, Dials: 604, ProbesMost: 605, DialsMost: 606}, {}},
+	}
+}
+
+func goldenSummary() Summary {
+	return Summary{
+		Scenario: "golden", A: "shipped", B: "shipped,pick=2", Line: "golden: better", Seeds: []uint64{1, 2},
+		Rows: []Row{{
+			Figure:     measure.Figure{Name: "service", About: "what it is", Unit: "ms", Better: 1, Step: 0.25, Count: true},
+			A:          stats.Interval{Mean: 1.5, Low: 2.5, High: 3.5, N: 4},
+			B:          stats.Interval{Mean: 5.5, Low: 6.5, High: 7.5, N: 8},
+			Difference: stats.Interval{Mean: 9.5, Low: 10.5, High: 11.5, N: 12},
+			Verdict:    Better, Matters: true, Note: "a note",
+		}},
+	}
+}
+
+// goldenForms are the values of each JSON file in testdata/golden, apart from the store's.
+func goldenForms(t *testing.T) map[string][]byte {
+	t.Helper()
+	marshal := func(v any) []byte {
+		t.Helper()
+		text, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	agreement := []AgreementRow{{Figure: goldenSummary().Rows[0].Figure, Model: goldenSummary().Rows[0].A, Real: 13.5, Inside: true}}
+	sizeRun := SizeRun{
+		Size: Size{Instances: 1, Nodes: 2}, Subset: 3, Length: 4 * time.Second, Rate: 5.5, Stories: 6, Decisions: 7,
+		Processor: 8 * time.Second, Memory: 9, Result: goldenResult(),
+	}
+	happenings := []scenario.Happening{{
+		What: "slow", At: 1, Until: 2, Nodes: []int{3}, Sizes: []float64{4.5}, Class: 5, Tenant: 6, One: true, Zone: 7, To: 8,
+		Every: 9, Delay: 10, Instances: []int{11}, Others: []int{12}, Way: "from",
+	}}
+	f := &Faulted{Result: goldenResult(), Kept: t.TempDir()}
+	plan := &scenario.Plan{Happenings: happenings}
+	if err := f.keep(&scenario.Scenario{}, &Variant{}, plan, &lines{}); err != nil {
+		t.Fatal(err)
+	}
+	evidence, err := os.ReadFile(filepath.Join(f.Kept, "result.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return map[string][]byte{
+		"job.json":        marshal(goldenJob()),
+		"job-short.json":  marshal(&Job{Scenario: "s", Settings: "t", Judge: "j", Seed: 1}),
+		"reply.json":      marshal(Reply{World: 3, Result: goldenResult()}),
+		"reply-err.json":  marshal(Reply{World: 3, Error: "no such scenario"}),
+		"result.json":     marshal(goldenResult()),
+		"summary.json":    marshal(goldenSummary()),
+		"agreement.json":  marshal(agreement),
+		"size-run.json":   marshal(sizeRun),
+		"evidence.json":   evidence,
+		"unfinished.json": marshal(&measure.Result{}),
+	}
+}
+
+func goldenFile(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", "golden", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// What is sent to other builds, stored and printed has the same form as in an earlier build, byte for byte.
+func TestGoldenFormsAreWritten(t *testing.T) {
+	for name, got := range goldenForms(t) {
+		if want := goldenFile(t, name); !bytes.Equal(got, want) {
+			t.Errorf("%s: wrote\n%s\nwant\n%s", name, got, want)
+		}
+	}
+}
+
+// What an earlier build sent or stored is read to the values that it wrote.
+func TestGoldenFormsAreRead(t *testing.T) {
+	for name, c := range map[string]struct{ into, want any }{
+		"job.json":        {&Job{}, goldenJob()},
+		"job-short.json":  {&Job{}, &Job{Scenario: "s", Settings: "t", Judge: "j", Seed: 1}},
+		"reply.json":      {&Reply{}, &Reply{World: 3, Result: goldenResult()}},
+		"reply-err.json":  {&Reply{}, &Reply{World: 3, Error: "no such scenario"}},
+		"result.json":     {&measure.Result{}, goldenResult()},
+		"unfinished.json": {&measure.Result{}, &measure.Result{}},
+	} {
+		decoder := json.NewDecoder(bytes.NewReader(goldenFile(t, name)))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(c.into); err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if !reflect.DeepEqual(c.into, c.want) {
+			t.Errorf("%s: read %+v, want %+v", name, c.into, c.want)
+		}
+	}
+}
+
+// A store of an earlier build has its run under the key that this build looks for, and the run is what was stored.
+func TestGoldenStoreIsRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store.db")
+	if err := os.WriteFile(path, goldenFile(t, "store.db"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	store := must[*Store](t)(OpenStore(path))
+	defer store.Close()
+	key := must[[]byte](t)(goldenJob().key(goldenBuild))
+	if got := hex.EncodeToString(key); got != goldenKey {
+		t.Errorf("the key is %s, want %s", got, goldenKey)
+	}
+	got := must[*measure.Result](t)(store.Get(key))
+	if !reflect.DeepEqual(got, goldenResult()) {
+		t.Errorf("read %+v, want %+v", got, goldenResult())
+	}
+	if n := must[int](t)(store.Len()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
--- /dev/null
+++ b/internal/record/golden_test.go
@@ -0,0 +1,143 @@
+package record
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+)
+
+// goldenSegment is what a build wrote before names in this package changed. It is never written anew.
+var goldenSegment = filepath.Join("testdata", "golden", "golden-instance-00000000p0-000001.parquet")
+
+// goldenNow is the time of the system's clock at which goldenSegment was written.
+var goldenNow = time.UnixMilli(1_700_000_000_123)
+
+// goldenRows are the rows of goldenSegment, without their numbers, which the writer gives.
+func goldenRows() []Row {
+	return []Row{
+		{Arrived: 1_700_000_000_000_001, Took: 1002, Waited: 1003, Patience: 1004, Client: "client-a", Route: "route-a", Class: "class-a",
+			Tenant: "tenant-a", Verdict: "served", Endpoint: "node-1", Status: 200, Attempts: 1, Key: 1 << 63, Object: 77, In: -1,
+			Out: 1005},
+		{Arrived: 1_700_000_000_000_002, Took: 2002, Client: "client-b", Class: "class-a", Verdict: "refused", Status: 503, Attempts: 0,
+			Key: 3, In: 12, Out: 13, Retry: true},
+		{Arrived: 1_700_000_000_000_003, Took: 3002, Waited: 3003, Client: "client-a", Class: "class-b", Verdict: "failed",
+			Endpoint: "node-2", Status: 502, Attempts: 3},
+		{Arrived: 1_700_000_000_000_004, Took: 4002, Client: "client-a", Class: "class-b", Verdict: "late", Status: 504, Attempts: 2},
+		{Arrived: 1_700_000_000_000_005, Took: 5002, Client: "client-b", Class: "class-b", Verdict: "left", Attempts: 1, Object: 9},
+	}
+}
+
+// writeGolden writes goldenRows to a folder as a segment, whose path it returns.
+func writeGolden(t *testing.T, dir string) string {
+	t.Helper()
+	w := writer(t, Options{Dir: dir, Instance: "golden-instance", Sample: 1, Now: func() time.Time { return goldenNow }})
+	for _, r := range goldenRows() {
+		w.Add(r)
+	}
+	w.Close()
+	all := segments(t, dir)
+	if len(all) != 1 {
+		t.Fatalf("%d segments, want 1", len(all))
+	}
+	return all[0]
+}
+
+// rawSegment is a segment as any reader of Parquet sees it: nothing in it depends on the names of this package.
+type rawSegment struct {
+	Schema  string
+	Columns []string
+	Rows    [][]string // the values of each row, by column
+	Meta    map[string]string
+	Creator string
+}
+
+func readRaw(t *testing.T, path string) rawSegment {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := parquet.OpenFile(f, info.Size())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := rawSegment{Schema: file.Schema().String(), Meta: map[string]string{}, Creator: file.Metadata().CreatedBy}
+	for _, path := range file.Schema().Columns() {
+		raw.Columns = append(raw.Columns, fmt.Sprint(path))
+	}
+	for _, kv := range file.Metadata().KeyValueMetadata {
+		raw.Meta[kv.Key] = kv.Value
+	}
+	for _, group := range file.RowGroups() {
+		rows := group.Rows()
+		buffer := make([]parquet.Row, 100)
+		n, _ := rows.ReadRows(buffer)
+		for _, row := range buffer[:n] {
+			var values []string
+			for _, v := range row {
+				values = append(values, fmt.Sprintf("%d:%v:%v", v.Column(), v.Kind(), v))
+			}
+			raw.Rows = append(raw.Rows, values)
+		}
+		if err := rows.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return raw
+}
+
+// A segment of an earlier build is read to the rows that it wrote, with what it says of its run.
+func TestGoldenSegmentIsRead(t *testing.T) {
+	rec := read(t, filepath.Dir(goldenSegment))
+	if len(rec.Problems) != 0 || len(rec.Runs) != 1 {
+		t.Fatalf("%d runs, problems %q", len(rec.Runs), rec.Problems)
+	}
+	run := *rec.Runs[0]
+	if run.Instance != "golden-instance" || run.Segments != 1 || run.Rows != 5 || run.Missing != 0 || run.Dropped != 0 || run.Sample != 1 ||
+		run.Offset != goldenNow.UnixMicro()-1_700_000_000_005_007 {
+		t.Errorf("its run: %+v", run)
+	}
+	want := goldenRows()
+	if len(rec.Requests) != len(want) {
+		t.Fatalf("%d requests, want %d", len(rec.Requests), len(want))
+	}
+	for i, got := range rec.Requests {
+		want[i].Seq = int64(i + 1)
+		if got.Row != want[i] || got.Instance != "golden-instance" {
+			t.Errorf("row %d: %+v, want %+v", i, got, want[i])
+		}
+	}
+}
+
+// The same rows give the same schema, columns, values and metadata as in an earlier build.
+func TestGoldenSegmentIsWritten(t *testing.T) {
+	got := readRaw(t, writeGolden(t, t.TempDir()))
+	want := readRaw(t, goldenSegment)
+	if len(want.Rows) != 5 || len(want.Columns) != 18 || len(want.Meta) != 7 {
+		t.Fatalf("the golden segment has %d rows, %d columns, %d entries of metadata", len(want.Rows), len(want.Columns), len(want.Meta))
+	}
+	if got.Meta["process"] == "" || want.Meta["process"] == "" {
+		t.Errorf("no process: %v, %v", got.Meta, want.Meta)
+	}
+	got.Meta["process"] = want.Meta["process"] // of the process that wrote
+	if got.Schema != want.Schema {
+		t.Errorf("schema\n%s\nwant\n%s", got.Schema, want.Schema)
+	}
+	if !slices.Equal(got.Columns, want.Columns) {
+		t.Errorf("columns %v, want %v", got.Columns, want.Columns)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+}
