Tags with today's names on what dunlinlab stores, sends and prints

Results, figures, seconds, series, happenings and rows were encoded by the names of their Go fields. Those are about to change; the stored names are not.

--- a/cmd/dunlinlab/hunts.go
+++ b/cmd/dunlinlab/hunts.go
@@ -66,7 +66,7 @@
 		for i := range got.Points {
 			p := &got.Points[i]
 			if err := e.Encode(struct {
-				Values []string
+				Values []string `json:"Values"`
 				lab.Summary
 			}{p.Values, p.Summary()}); err != nil {
 				return err
--- a/internal/lab/agree.go
+++ b/internal/lab/agree.go
@@ -28,9 +28,9 @@
 // AgreementRow is one figure.
 type AgreementRow struct {
 	measure.Figure
-	Model  stats.Interval // in which the mean of the real runs ought to lie
-	Real   float64        // where it lies
-	Inside bool
+	Model  stats.Interval `json:"Model"` // in which the mean of the real runs ought to lie
+	Real   float64        `json:"Real"`  // where it lies
+	Inside bool           `json:"Inside"`
 }
 
 // agreed are the figures by which model and real runs are held against one another.
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -45,11 +45,12 @@
 // Row is one figure of both variants.
 type Row struct {
 	measure.Figure
-	A, B       stats.Interval // of the means
-	Difference stats.Interval // of B less A, pair by pair
-	Verdict    Verdict
-	Matters    bool   // by more than the figure's step
-	Note       string // for people
+	A          stats.Interval `json:"A"`          // of the means
+	B          stats.Interval `json:"B"`          // the same
+	Difference stats.Interval `json:"Difference"` // of B less A, pair by pair
+	Verdict    Verdict        `json:"Verdict"`
+	Matters    bool           `json:"Matters"` // by more than the figure's step
+	Note       string         `json:"Note"`    // for people
 }
 
 // Comparison is what came of a plan.
@@ -279,9 +280,12 @@
 
 // Summary is a comparison without its runs, for other programs.
 type Summary struct {
-	Scenario, A, B, Line string
-	Seeds                []uint64
-	Rows                 []Row
+	Scenario string   `json:"Scenario"`
+	A        string   `json:"A"`
+	B        string   `json:"B"`
+	Line     string   `json:"Line"`
+	Seeds    []uint64 `json:"Seeds"`
+	Rows     []Row    `json:"Rows"`
 }
 
 // Summary returns it.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -67,8 +67,8 @@
 		return err
 	}
 	all, err := json.MarshalIndent(struct {
-		Happenings []scenario.Happening
-		Result     *measure.Result
+		Happenings []scenario.Happening `json:"Happenings"`
+		Result     *measure.Result      `json:"Result"`
 	}{plan.Happenings, f.Result}, "", "\t")
 	if err != nil {
 		return err
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -13,19 +13,22 @@
 )
 
 // Size is how large a fleet is.
-type Size struct{ Instances, Nodes int }
+type Size struct {
+	Instances int `json:"Instances"`
+	Nodes     int `json:"Nodes"`
+}
 
 // SizeRun is what a run of a fleet of some size costs the computer.
 type SizeRun struct {
 	Size
-	Subset    int
-	Length    time.Duration // simulated
-	Rate      float64       // stories a second, simulated
-	Stories   int64
-	Decisions int64
-	Processor time.Duration // time of processors, in all
-	Memory    int64         // bytes held at most
-	Result    *measure.Result
+	Subset    int             `json:"Subset"`
+	Length    time.Duration   `json:"Length"` // simulated
+	Rate      float64         `json:"Rate"`   // stories a second, simulated
+	Stories   int64           `json:"Stories"`
+	Decisions int64           `json:"Decisions"`
+	Processor time.Duration   `json:"Processor"` // time of processors, in all
+	Memory    int64           `json:"Memory"`    // bytes held at most
+	Result    *measure.Result `json:"Result"`
 }
 
 // Scaling says what runs are made.
--- a/internal/lab/stats/stats.go
+++ b/internal/lab/stats/stats.go
@@ -12,8 +12,10 @@
 
 // Interval is an estimate with the ends of its confidence interval.
 type Interval struct {
-	Mean, Low, High float64
-	N               int
+	Mean float64 `json:"Mean"`
+	Low  float64 `json:"Low"`
+	High float64 `json:"High"`
+	N    int     `json:"N"`
 }
 
 // Half is half of the interval's width.
--- a/internal/model/measure/arrivals.go
+++ b/internal/model/measure/arrivals.go
@@ -14,8 +14,12 @@
 // Second is what came at all endpoints within a second of a run, and at the one to which most probes and most new
 // connections came.
 type Second struct {
-	First, Further, Probes, Dials int
-	ProbesMost, DialsMost         int
+	First      int `json:"First"`
+	Further    int `json:"Further"`
+	Probes     int `json:"Probes"`
+	Dials      int `json:"Dials"`
+	ProbesMost int `json:"ProbesMost"`
+	DialsMost  int `json:"DialsMost"`
 }
 
 // arrivals counts what comes at endpoints, second by second.
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -40,25 +40,25 @@
 
 // Costs is what the stories of a run have cost, and what broke.
 type Costs struct {
-	Tries     int64 // requests that clients sent
-	Attempts  int64 // that instances sent on
-	Cross     int64 // of these, to another zone
-	Dials     int64 // new connections to endpoints
-	Probes    int64
-	Offered   float64 // work of all stories, once each, in microseconds
-	Worked    float64 // by endpoints
-	Useful    float64 // of this, for answers that clients took
-	Decisions int64   // requests, outcomes, probes and timers that instances decided on
+	Tries     int64   `json:"Tries"`    // requests that clients sent
+	Attempts  int64   `json:"Attempts"` // that instances sent on
+	Cross     int64   `json:"Cross"`    // of these, to another zone
+	Dials     int64   `json:"Dials"`    // new connections to endpoints
+	Probes    int64   `json:"Probes"`
+	Offered   float64 `json:"Offered"`   // work of all stories, once each, in microseconds
+	Worked    float64 `json:"Worked"`    // by endpoints
+	Useful    float64 `json:"Useful"`    // of this, for answers that clients took
+	Decisions int64   `json:"Decisions"` // requests, outcomes, probes and timers that instances decided on
 
 	// Rules that were broken.
-	Falls      int64 // endpoints pushed over while cold
-	Drained    int64 // attempts that reached an endpoint past the grace after its instance knew that it drains
-	Twice      int64 // stories that took effect more than once by their instances' doing
-	LateAnswer int64 // final answers that came after the client's deadline, or not at all
-
-	ClientsTwice int64 // stories that took effect more than once by their clients' own tries
-	KilledOpen   int64 // tries that instances held when they were killed
-	Words        int64 // that instances told one another
+	Falls      int64 `json:"Falls"`      // endpoints pushed over while cold
+	Drained    int64 `json:"Drained"`    // attempts that reached an endpoint past the grace after its instance knew that it drains
+	Twice      int64 `json:"Twice"`      // stories that took effect more than once by their instances' doing
+	LateAnswer int64 `json:"LateAnswer"` // final answers that came after the client's deadline, or not at all
+
+	ClientsTwice int64 `json:"ClientsTwice"` // stories that took effect more than once by their clients' own tries
+	KilledOpen   int64 `json:"KilledOpen"`   // tries that instances held when they were killed
+	Words        int64 `json:"Words"`        // that instances told one another
 }
 
 // Meter judges one run. Make one with New.
@@ -247,52 +247,52 @@
 
 // Result is what a run came to.
 type Result struct {
-	Scenario string
-	Seed     uint64
-	Digest   string // of all that became of all stories: runs that are the same have the same
-
-	Figures map[string]float64 // by the names in Figures
-	Costs   Costs
-	Stories int64
-	Served  int64 // within the aim or after it
-	Series  Series
-	Nodes   []NodeLoad
-	Classes []ClassTimes
-	Seconds []Second      // what came at endpoints
-	Took    time.Duration `json:"-"` // of the computer, not of the run
+	Scenario string `json:"Scenario"`
+	Seed     uint64 `json:"Seed"`
+	Digest   string `json:"Digest"` // of all that became of all stories: runs that are the same have the same
+
+	Figures map[string]float64 `json:"Figures"` // by the names in Figures
+	Costs   Costs              `json:"Costs"`
+	Stories int64              `json:"Stories"`
+	Served  int64              `json:"Served"` // within the aim or after it
+	Series  Series             `json:"Series"`
+	Nodes   []NodeLoad         `json:"Nodes"`
+	Classes []ClassTimes       `json:"Classes"`
+	Seconds []Second           `json:"Seconds"` // what came at endpoints
+	Took    time.Duration      `json:"-"`       // of the computer, not of the run
 }
 
 // Series are lines over time, an entry for each Bin.
 type Series struct {
-	Bin     Micros
-	Service []float64
-	Asked   []float64 // stories a second
-	Good    []float64 // served within the aim, a second
-	Late    []float64
-	Lost    []float64 // unserved, a second
-	Refused []float64 // tries refused, a second
-	Failed  []float64 // tries failed or lost, a second
-	P50     []float64 // milliseconds
-	P99     []float64
-	Class   [][]float64 // service of each class
-	Zone    [][]float64 // and of the clients in each zone
+	Bin     Micros      `json:"Bin"`
+	Service []float64   `json:"Service"`
+	Asked   []float64   `json:"Asked"` // stories a second
+	Good    []float64   `json:"Good"`  // served within the aim, a second
+	Late    []float64   `json:"Late"`
+	Lost    []float64   `json:"Lost"`    // unserved, a second
+	Refused []float64   `json:"Refused"` // tries refused, a second
+	Failed  []float64   `json:"Failed"`  // tries failed or lost, a second
+	P50     []float64   `json:"P50"`     // milliseconds
+	P99     []float64   `json:"P99"`
+	Class   [][]float64 `json:"Class"` // service of each class
+	Zone    [][]float64 `json:"Zone"`  // and of the clients in each zone
 }
 
 // NodeLoad is what one endpoint had to do.
 type NodeLoad struct {
-	Name   string
-	Zone   int
-	Runs   int64
-	Worked float64 // of its core time, 0 to 1
-	Most   int     // requests held at once, at most
-	Line   []int64 `json:",omitempty"` // requests that came, in each bin of the series; nil where there are many endpoints
+	Name   string  `json:"Name"`
+	Zone   int     `json:"Zone"`
+	Runs   int64   `json:"Runs"`
+	Worked float64 `json:"Worked"`         // of its core time, 0 to 1
+	Most   int     `json:"Most"`           // requests held at once, at most
+	Line   []int64 `json:"Line,omitempty"` // requests that came, in each bin of the series; nil where there are many endpoints
 }
 
 // ClassTimes is how long a class's stories took that were served: pairs of a part of them and milliseconds.
 type ClassTimes struct {
-	Name      string
-	Count     int64
-	Quantiles [][2]float64
+	Name      string       `json:"Name"`
+	Count     int64        `json:"Count"`
+	Quantiles [][2]float64 `json:"Quantiles"`
 }
 
 var quantiles = []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100}
@@ -457,12 +457,12 @@
 
 // Figure describes a figure of a Result.
 type Figure struct {
-	Name   string
-	About  string
-	Unit   string  // "", "ms", "a story"
-	Better float64 // 1: more is better; -1: less is; 0: neither by itself
-	Step   float64 // what is no difference that matters
-	Count  bool    // it counts what should never happen
+	Name   string  `json:"Name"`
+	About  string  `json:"About"`
+	Unit   string  `json:"Unit"`   // "", "ms", "a story"
+	Better float64 `json:"Better"` // 1: more is better; -1: less is; 0: neither by itself
+	Step   float64 `json:"Step"`   // what is no difference that matters
+	Count  bool    `json:"Count"`  // it counts what should never happen
 }
 
 // Figures are those that hold of every site, the first what all is judged by. Those of classes and tenants come beside
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -52,19 +52,21 @@
 
 // Happening is an event of a plan: what was left to chance is drawn.
 type Happening struct {
-	What      string
-	At, Until Micros // Until is math.MaxInt64 for what does not end
-	Nodes     []int
-	Sizes     []float64 // of each of Nodes; of one number where it happens to no node
-	Class     int       // -1 is all
-	Tenant    int       // -1 is all
-	One       bool      // of the first client process only
-	Zone, To  int       // -1 is all
-	Every     Micros
-	Delay     Micros
-	Instances []int // of what happens to instances, or on their ways
-	Others    []int // part: the other side; nil is all others
-	Way       string
+	What      string    `json:"What"`
+	At        Micros    `json:"At"`
+	Until     Micros    `json:"Until"` // math.MaxInt64 for what does not end
+	Nodes     []int     `json:"Nodes"`
+	Sizes     []float64 `json:"Sizes"`  // of each of Nodes; of one number where it happens to no node
+	Class     int       `json:"Class"`  // -1 is all
+	Tenant    int       `json:"Tenant"` // -1 is all
+	One       bool      `json:"One"`    // of the first client process only
+	Zone      int       `json:"Zone"`   // -1 is all
+	To        int       `json:"To"`     // the same
+	Every     Micros    `json:"Every"`
+	Delay     Micros    `json:"Delay"`
+	Instances []int     `json:"Instances"` // of what happens to instances, or on their ways
+	Others    []int     `json:"Others"`    // part: the other side; nil is all others
+	Way       string    `json:"Way"`
 }
 
 // Frozen says whether what happens at an instant stops an instance, and until when at least.
