--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -7,55 +7,66 @@
 // empty windows; this removes that weakness where a process is replaced by another. Instants are kept as ages
 // against the moment at which it was taken, since the two may count time from different origins.
 type Learned struct {
-	Classes   []LearnedClass // in the order of the settings
-	Endpoints []LearnedEndpoint
-
-	Demand, SentWork, Refused float64 // rates a second, and a share
-	Work, Fleet               Average
-	Trend, Trust              float64
-	Lag, Usual, Service       Average
-	UsualCold                 Average // as Usual, at endpoints that are cold
-	ReportsLate               bool
-	Watched, Renewed          float64
-	Tenants                   []float64 // rates a second, in the order of the settings
+	Classes   []LearnedClass    `json:"Classes"` // in the order of the settings
+	Endpoints []LearnedEndpoint `json:"Endpoints"`
+
+	Demand      float64   `json:"Demand"`   // a second
+	SentWork    float64   `json:"SentWork"` // a second
+	Refused     float64   `json:"Refused"`  // a share
+	Work        Average   `json:"Work"`
+	Fleet       Average   `json:"Fleet"`
+	Trend       float64   `json:"Trend"`
+	Trust       float64   `json:"Trust"`
+	Lag         Average   `json:"Lag"`
+	Usual       Average   `json:"Usual"`
+	Service     Average   `json:"Service"`
+	UsualCold   Average   `json:"UsualCold"` // as Usual, at endpoints that are cold
+	ReportsLate bool      `json:"ReportsLate"`
+	Watched     float64   `json:"Watched"`
+	Renewed     float64   `json:"Renewed"`
+	Tenants     []float64 `json:"Tenants"` // rates a second, in the order of the settings
 }
 
 // LearnedClass is what is known of a class.
 type LearnedClass struct {
-	Work  Average
-	Asked float64 // a second
-	Good  Average
+	Work  Average `json:"Work"`
+	Asked float64 `json:"Asked"` // a second
+	Good  Average `json:"Good"`
 }
 
 // LearnedEndpoint is what is known of an endpoint.
 type LearnedEndpoint struct {
-	ID      uint32 // the host's number, as in Endpoint
-	Start   Micros // its StartTime: what is known is of that process
-	RTT     Average
-	Pace    Average
-	PaceAge Micros
-
-	Cold    bool
-	ColdAge Micros  // since its warm-up began
-	Room    float64 // work that it may still get while cold: as is asked for,
-	Share   float64 // and as is served
-
-	Whole Ejection
-	Parts []Ejection // of each class, then of each tenant
-
-	Base, Current float64  // the breaker's averages of latency
-	Window        [][3]int // the breaker's buckets, the oldest first: requests, accepts, failures
+	ID      uint32  `json:"ID"`    // the host's number, as in Endpoint
+	Start   Micros  `json:"Start"` // its StartTime: what is known is of that process
+	RTT     Average `json:"RTT"`
+	Pace    Average `json:"Pace"`
+	PaceAge Micros  `json:"PaceAge"`
+
+	Cold    bool    `json:"Cold"`
+	ColdAge Micros  `json:"ColdAge"` // since its warm-up began
+	Room    float64 `json:"Room"`    // work that it may still get while cold: as is asked for,
+	Share   float64 `json:"Share"`   // and as is served
+
+	Whole Ejection   `json:"Whole"`
+	Parts []Ejection `json:"Parts"` // of each class, then of each tenant
+
+	Base    float64  `json:"Base"`    // the breaker's averages of latency:
+	Current float64  `json:"Current"` // the usual one and that of now
+	Window  [][3]int `json:"Window"`  // the breaker's buckets, the oldest first: requests, accepts, failures
 }
 
 // Average is a moving average and how many samples it has.
-type Average struct{ V, N float64 }
+type Average struct {
+	V float64 `json:"V"`
+	N float64 `json:"N"`
+}
 
 // Ejection is a run of failures, and the ejection that it led to.
 type Ejection struct {
-	Streak int
-	Left   Micros // ejected for so long yet
-	For    Micros
-	Trial  bool
+	Streak int    `json:"Streak"`
+	Left   Micros `json:"Left"` // ejected for so long yet
+	For    Micros `json:"For"`
+	Trial  bool   `json:"Trial"`
 }
 
 func (a ewma) learned() Average { return Average{a.v, a.n} }
