Tags with today's names on what the maintenance log stores and voters send

The golden tests, with files of the build before the tags, show the same bytes both ways. go test ./internal/decide/work ./internal/settle: ok.

--- a/internal/decide/work/duty.go
+++ b/internal/decide/work/duty.go
@@ -7,17 +7,18 @@
 
 // Report is what an instance says of how far it obeys, and the question for its next order.
 type Report struct {
-	Life    uint64
-	Number  uint64         // of the report; they grow
-	Version uint64         // of the order that it obeys; 0 is none yet
-	Open    map[string]int // of machines that nothing new may go to: what is still open there
+	Life    uint64         `json:"Life"`
+	Number  uint64         `json:"Number"`  // of the report; they grow
+	Version uint64         `json:"Version"` // of the order that it obeys; 0 is none yet
+	Open    map[string]int `json:"Open"`    // of machines that nothing new may go to: what is still open there
 }
 
 // Told answers a Report with the order, which holds for so long from when the report went out.
 type Told struct {
-	Life, Number uint64
-	Order        Order
-	Lease        Micros
+	Life   uint64 `json:"Life"`
+	Number uint64 `json:"Number"`
+	Order  Order  `json:"Order"`
+	Lease  Micros `json:"Lease"`
 }
 
 // Duty is what one instance has to obey. Make one with NewDuty.
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -71,10 +71,12 @@
 
 // Machine is one that requests go to, as it stands.
 type Machine struct {
-	Name, Zone, Kind string
-	Cell             int
-	Share            float64 // of what all can do, in any unit that all have alike
-	Well             bool    // it serves, warm, and nobody suspects it
+	Name  string  `json:"Name"`
+	Zone  string  `json:"Zone"`
+	Kind  string  `json:"Kind"`
+	Cell  int     `json:"Cell"`
+	Share float64 `json:"Share"` // of what all can do, in any unit that all have alike
+	Well  bool    `json:"Well"`  // it serves, warm, and nobody suspects it
 }
 
 // Phase is how far a machine is.
@@ -97,32 +99,33 @@
 
 // Job is what one asked for.
 type Job struct {
-	ID       string // asking twice with one is asking once
-	Machines []string
-	For      Micros
-	Why, By  string
-	Urgent   bool
-	At       Micros
-	Held     bool // nothing of it begins
+	ID       string   `json:"ID"` // asking twice with one is asking once
+	Machines []string `json:"Machines"`
+	For      Micros   `json:"For"`
+	Why      string   `json:"Why"`
+	By       string   `json:"By"`
+	Urgent   bool     `json:"Urgent"`
+	At       Micros   `json:"At"`
+	Held     bool     `json:"Held"` // nothing of it begins
 }
 
 // Item is a machine in the order.
 type Item struct {
-	Machine string
-	Jobs    []string // that want it out; it is until all are done
-	Phase   Phase
-	Since   Micros
-	Until   Micros // at work: by when it was to be done
-	Version uint64 // of the order in which it was first told as it is now
-	Overdue bool
-	Wanted  string // at work, and wanted back: why
-	Waits   string // why it does not go on
+	Machine string   `json:"Machine"`
+	Jobs    []string `json:"Jobs"` // that want it out; it is until all are done
+	Phase   Phase    `json:"Phase"`
+	Since   Micros   `json:"Since"`
+	Until   Micros   `json:"Until"`   // at work: by when it was to be done
+	Version uint64   `json:"Version"` // of the order in which it was first told as it is now
+	Overdue bool     `json:"Overdue"`
+	Wanted  string   `json:"Wanted"` // at work, and wanted back: why
+	Waits   string   `json:"Waits"`  // why it does not go on
 }
 
 // Event is something that happened, for people.
 type Event struct {
-	At   Micros
-	What string
+	At   Micros `json:"At"`
+	What string `json:"What"`
 }
 
 // eventsMost is how many events are kept.
@@ -130,52 +133,56 @@
 
 // Instance is a process that sends to machines.
 type Instance struct {
-	Name string
-	Life uint64 // no two processes of a name have the same
+	Name string `json:"Name"`
+	Life uint64 `json:"Life"` // no two processes of a name have the same
 }
 
 // Command is an entry of the log; one of its parts is set beside At.
 type Command struct {
-	At     Micros // on the state's clock, by who leads; it never runs back
-	Ask    *Job
-	Cancel string // a job, by its id
-	Done   *Done
-	Hold   *Hold
-	Join   *Instance // it is about to be told the order
-	Gone   *Instance // it sends nothing any more, known for sure
-	Facts  *Facts
-	Known  []string // machines that every instance knows as ahead
-	Free   []string // machines that nobody sends to, with nothing open there
+	At     Micros    `json:"At"` // on the state's clock, by who leads; it never runs back
+	Ask    *Job      `json:"Ask"`
+	Cancel string    `json:"Cancel"` // a job, by its id
+	Done   *Done     `json:"Done"`
+	Hold   *Hold     `json:"Hold"`
+	Join   *Instance `json:"Join"` // it is about to be told the order
+	Gone   *Instance `json:"Gone"` // it sends nothing any more, known for sure
+	Facts  *Facts    `json:"Facts"`
+	Known  []string  `json:"Known"` // machines that every instance knows as ahead
+	Free   []string  `json:"Free"`  // machines that nobody sends to, with nothing open there
 }
 
 // Done says that work is done on a machine, or on all of a job's where Machine is empty.
-type Done struct{ Job, Machine string }
+type Done struct {
+	Job     string `json:"Job"`
+	Machine string `json:"Machine"`
+}
 
 // Hold has nothing more of a job begin, of all where Job is empty, or ends that.
 type Hold struct {
-	Job string
-	On  bool
+	Job string `json:"Job"`
+	On  bool   `json:"On"`
 }
 
 // Facts are how all machines stand, and how much of their shares is in use, now and, as far as is known, in the hour ahead.
 type Facts struct {
-	Machines  []Machine
-	Use, Peak float64
+	Machines []Machine `json:"Machines"`
+	Use      float64   `json:"Use"`
+	Peak     float64   `json:"Peak"`
 }
 
 // State is the order. Make one with New.
 type State struct {
 	s         Settings
-	Now       Micros
-	Version   uint64 // of what instances are told; it grows with each change of that
-	Jobs      map[string]*Job
-	Items     map[string]*Item // by machine
-	Instances map[string]uint64
-	Facts     Facts
-	Held      bool
-	Events    []Event
-	Taken     map[string]int // machines taken out so far, by who asked
-	Count     uint64         // of commands
+	Now       Micros            `json:"Now"`
+	Version   uint64            `json:"Version"` // of what instances are told; it grows with each change of that
+	Jobs      map[string]*Job   `json:"Jobs"`
+	Items     map[string]*Item  `json:"Items"` // by machine
+	Instances map[string]uint64 `json:"Instances"`
+	Facts     Facts             `json:"Facts"`
+	Held      bool              `json:"Held"`
+	Events    []Event           `json:"Events"`
+	Taken     map[string]int    `json:"Taken"` // machines taken out so far, by who asked
+	Count     uint64            `json:"Count"` // of commands
 }
 
 // New returns an order in which nothing is out, or a *SettingError.
@@ -584,8 +591,9 @@
 
 // Order is what instances are told: the machines that are next in line, and those that nothing new may go to.
 type Order struct {
-	Version     uint64
-	Ahead, Stop []string
+	Version uint64   `json:"Version"`
+	Ahead   []string `json:"Ahead"`
+	Stop    []string `json:"Stop"`
 }
 
 // Order returns it.
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -53,28 +53,28 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Raft    []byte       // to a voter from a voter
-	Blank   bool         // a voter's: nothing was ever kept by it
-	Report  *work.Report // to who leads, or to any voter
-	Told    *work.Told   // its answer,
-	Leader  string       // or who leads, as far as is known
-	Command *Command     // of an operator, to who leads
-	Reply   *Reply       // its answer
+	Raft    []byte       `json:"Raft"`    // to a voter from a voter
+	Blank   bool         `json:"Blank"`   // a voter's: nothing was ever kept by it
+	Report  *work.Report `json:"Report"`  // to who leads, or to any voter
+	Told    *work.Told   `json:"Told"`    // its answer,
+	Leader  string       `json:"Leader"`  // or who leads, as far as is known
+	Command *Command     `json:"Command"` // of an operator, to who leads
+	Reply   *Reply       `json:"Reply"`   // its answer
 }
 
 // Command is what an operator says, with a number of its own.
 type Command struct {
-	Number uint64
-	Look   bool // at how all stands, in place of an order
-	Order  work.Command
+	Number uint64       `json:"Number"`
+	Look   bool         `json:"Look"` // at how all stands, in place of an order
+	Order  work.Command `json:"Order"`
 }
 
 // Reply answers a Command.
 type Reply struct {
-	Number uint64
-	Answer string
-	Error  string
-	View   *View
+	Number uint64 `json:"Number"`
+	Answer string `json:"Answer"`
+	Error  string `json:"Error"`
+	View   *View  `json:"View"`
 }
 
 // Out is a word that is to be told.
@@ -85,14 +85,14 @@
 
 // View is the order as who leads has it, for people.
 type View struct {
-	Leader    string
-	Now       Micros
-	Held      bool
-	Jobs      []work.Job
-	Items     []work.Item
-	Instances []work.Instance
-	Events    []work.Event
-	Silent    []work.Instance // not heard for long: they keep machines from being known as ahead
+	Leader    string          `json:"Leader"`
+	Now       Micros          `json:"Now"`
+	Held      bool            `json:"Held"`
+	Jobs      []work.Job      `json:"Jobs"`
+	Items     []work.Item     `json:"Items"`
+	Instances []work.Instance `json:"Instances"`
+	Events    []work.Event    `json:"Events"`
+	Silent    []work.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
 }
 
 // Node is one instance. Make one with New.
@@ -154,8 +154,8 @@
 
 // entry is what the log has.
 type entry struct {
-	ID    uint64 // of the proposal
-	Order work.Command
+	ID    uint64       `json:"ID"` // of the proposal
+	Order work.Command `json:"Order"`
 }
 
 const (
