--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,15 @@
 	config string
 	to     [2]atomic.Int64 // requests at the endpoints s-0 and s-1
 	hold   atomic.Pointer[chan struct{}]
+
+	processes int // that were started
+}
+
+// programs are what the first, third, ... and the second, fourth, ... process of a host run: this build's program, unless
+// .ci/mixed-restart names that of another build.
+var programs = [2]string{
+	cmp.Or(os.Getenv("DUNLINSAIL_PREDECESSOR"), os.Args[0]),
+	cmp.Or(os.Getenv("DUNLINSAIL_SUCCESSOR"), os.Args[0]),
 }
 
 func newHost(t *testing.T) *host {
@@ -83,7 +94,12 @@
 }
 
 // start starts a process without waiting for it.
-func (h *host) start() *process { return h.startAs(os.Args[0]) }
+func (h *host) start() *process {
+	h.t.Helper()
+	program := programs[h.processes%len(programs)]
+	h.processes++
+	return h.startAs(program)
+}
 
 func (h *host) startAs(program string) *process {
 	h.t.Helper()
@@ -147,6 +163,20 @@
 	}
 }
 
+// restored checks, once a process has ended, that all its predecessor learned arrived: at its start, and again at the handover.
+func (p *process) restored() {
+	p.h.t.Helper()
+	all := regexp.MustCompile(restoredLine).FindAllStringSubmatch(p.log.String(), -1)
+	if len(all) != 2 || all[0][1] != "at the start" || all[1][1] != "at the handover" {
+		p.h.t.Errorf("what was learned arrived %q:\n%s", all, p.log.String())
+		return
+	}
+	p.h.t.Logf("%s: %s; %s", filepath.Base(p.cmd.Path), all[0][0], all[1][0])
+}
+
+// restoredLine matches the log line of a snapshot that was taken over whole.
+const restoredLine = `msg="what the other process learned is taken over" when="(at the [a-z]+)" "passed over"=\[\]`
+
 // ends waits for a process that has been told to end, or has handed over.
 func (p *process) ends() {
 	p.h.t.Helper()
@@ -223,6 +253,9 @@
 			for n := 0; !done.Load(); n++ {
 				if n%4 == 0 {
 					if c != nil {
+						if n := r.Buffered(); n != 0 {
+							h.t.Errorf("%d bytes behind an answer", n)
+						}
 						c.Close()
 					}
 					var err error
@@ -297,6 +330,9 @@
 		half.Close()
 		held.Close()
 		old.ends()
+		if old != one {
+			old.restored()
+		}
 		old = next
 	}
 	if n := h.to[0].Load() - before; n != 0 {
@@ -308,11 +344,14 @@
 	}
 	old.byHand("enable", "s-0")
 	peer.Eventually(t, "requests to the one that is in again", func() bool { return h.to[0].Load() > before })
-	if n := stop(); n < 20 {
+	n := stop()
+	if n < 20 {
 		t.Errorf("%d requests in all", n)
 	}
 	old.cmd.Process.Signal(syscall.SIGTERM)
 	old.ends()
+	old.restored()
+	t.Logf("%d requests, each answered once with 200", n)
 }
 
 // The old process stands still, or was killed and its socket is left: the new one serves in time, with what was said by hand.
