--- /dev/null
+++ b/.ci/simwire/script.go
@@ -0,0 +1,560 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+)
+
+// All times are in microseconds.
+const (
+	millisecond   = 1_000
+	second        = 1_000_000
+	scriptLength  = 32 * second
+	instances     = 4
+	endpointCount = 14
+	classCount    = 5
+	tenantCount   = 3
+	startTime     = 5 * second
+)
+
+// classes are those of the settings below, in order.
+var classes = [classCount]struct {
+	giveUp int64
+	stream bool
+	key    bool
+}{
+	{giveUp: 900 * millisecond},
+	{giveUp: 1200 * millisecond, key: true},
+	{giveUp: 2 * second, key: true},
+	{giveUp: 1500 * millisecond},
+	{giveUp: 3 * second, stream: true},
+}
+
+// settings returns the config text of an instance of the script with this seed. Odd seeds have load reports with each
+// answer and discovery that sends by itself; even ones have probes and a subscription.
+func settings(seed uint64, instance uint32) string {
+	how, discovery, value, tick := "answers", "automatic", "request", 0
+	if seed%2 == 0 {
+		how, discovery, value, tick = "probe", "subscribe", "work", 1000
+	}
+	return fmt.Sprintf(`peers-total=%d
+position=%d
+zone=%d
+areas=a,b,c
+skus=std,big
+discovery=%s
+tick=%d
+value-by=%s
+over-share-worth=0.4
+limits.cancel=true
+limits.probes=true
+limits.second-copies=%t
+limits.retry-after=true
+limits.most-tries=3
+limits.most-held=400
+limits.max-retry-after=5000000
+contract.drain-grace=500000
+contract.cold-from=0.2
+contract.ramp-time=4000000
+contract.fall-multiple=2
+contract.overload-for=1000000
+contract.ask-within=3000000
+contract.answer-slack=1000
+prices.cross-zone=0.02
+prices.probe=0.001
+prices.waste=0.1
+prices.late-fail=0.2
+goal.whole=0.5
+goal.worst-window=0.2
+goal.worst-class=0.2
+goal.worst-tenant=0.1
+reporting.how=%s
+reporting.fields=busy_reqs,pending,cpu_share,svc_ms,served_ps,failed_ps
+classes.count=%d
+classes.0.name=read
+classes.0.repeat=pure
+classes.0.target=120000
+classes.0.give-up=900000
+classes.0.credit=1
+classes.0.late-value=0.5
+classes.1.name=book
+classes.1.repeat=token
+classes.1.group=zone
+classes.1.window=10000000
+classes.1.target=250000
+classes.1.give-up=1200000
+classes.1.credit=8
+classes.1.late-value=0.2
+classes.2.name=pay
+classes.2.repeat=token
+classes.2.group=cell
+classes.2.window=3000000
+classes.2.target=400000
+classes.2.give-up=2000000
+classes.2.credit=3
+classes.3.name=write
+classes.3.repeat=side_effect
+classes.3.target=200000
+classes.3.give-up=1500000
+classes.3.credit=2
+classes.4.name=stream
+classes.4.repeat=pure
+classes.4.target=300000
+classes.4.give-up=3000000
+classes.4.credit=0.5
+classes.4.late-value=0.9
+classes.4.stream=true
+tenants.count=%d
+tenants.0.name=north
+tenants.0.allowance-per-s=200
+tenants.0.share=0.5
+tenants.1.name=south
+tenants.1.allowance-per-s=60
+tenants.1.share=0.3
+tenants.2.name=other
+tenants.2.share=0.2
+`, instances, instance, instance%3, discovery, tick, value, seed%3 != 0, how, classCount, tenantCount)
+}
+
+// event is one record that is due for an instance.
+type event struct {
+	at       int64
+	order    int // of events due at one instant
+	instance uint32
+	life     int // the event is dropped where the instance has been started anew since; 0 is of no life
+	records  [][]byte
+	then     func()
+}
+
+type events []*event
+
+func (q events) Len() int      { return len(q) }
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+
+func (q *events) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// request is one that a client made at an instance.
+type request struct {
+	class    int
+	attempts []*attempt
+	over     bool
+}
+
+type attempt struct {
+	endpoint uint32
+	started  int64
+	over     bool
+}
+
+type endpoint struct {
+	id     uint32
+	zone   uint8
+	kind   uint8
+	cell   uint16
+	state  uint8
+	start  int64
+	held   int
+	served float32
+	failed float32
+}
+
+type openKey struct {
+	instance uint32
+	id       uint64
+}
+
+// script is the world that simhost is played against. All randomness comes from one seeded source.
+type script struct {
+	seed      uint64
+	rand      *rand.Rand
+	now       int64
+	queue     events
+	order     int
+	lives     [instances]int
+	endpoints []*endpoint
+	requests  map[openKey]*request
+	nextID    uint64
+}
+
+// record plays the script of a seed against a program and writes all input that the program was given.
+func record(program string, seed uint64, out io.Writer) error {
+	cmd := exec.Command(program)
+	cmd.Stderr = os.Stderr
+	stdin, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	s := &script{seed: seed, rand: rand.New(rand.NewPCG(seed, 2)), now: startTime, requests: map[openKey]*request{}}
+	file := bufio.NewWriter(out)
+	if err := s.play(io.MultiWriter(file, stdin), bufio.NewReader(stdout)); err != nil {
+		return err
+	}
+	if err := stdin.Close(); err != nil {
+		return err
+	}
+	if err := cmd.Wait(); err != nil {
+		return err
+	}
+	return file.Flush()
+}
+
+func (s *script) play(in io.Writer, out io.Reader) error {
+	s.setUp()
+	for batch := uint32(1); len(s.queue) > 0 && s.now < startTime+scriptLength; batch++ {
+		s.now = s.queue[0].at
+		var body bytes.Buffer
+		var then []func()
+		current := int64(-1)
+		for len(s.queue) > 0 && s.queue[0].at <= s.now+s.tick() {
+			e := heap.Pop(&s.queue).(*event)
+			if e.life != 0 && e.life != s.lives[e.instance] {
+				continue
+			}
+			if current != int64(e.instance) {
+				body.Write(rec(codeInstance, e.instance))
+				current = int64(e.instance)
+			}
+			for _, r := range e.records {
+				body.Write(r)
+			}
+			if e.then != nil {
+				then = append(then, e.then)
+			}
+		}
+		frame := binary.BigEndian.AppendUint32(nil, batch)
+		frame = binary.BigEndian.AppendUint32(frame, uint32(16+body.Len()))
+		frame = binary.BigEndian.AppendUint64(frame, uint64(s.now))
+		if _, err := in.Write(append(frame, body.Bytes()...)); err != nil {
+			return err
+		}
+		_, actions, err := readReply(out)
+		if err != nil {
+			return err
+		}
+		for _, f := range then {
+			f()
+		}
+		s.answer(actions)
+	}
+	return nil
+}
+
+// tick is how far events of one batch lie apart.
+func (s *script) tick() int64 {
+	if s.seed%2 == 0 {
+		return millisecond
+	}
+	return 50
+}
+
+func (s *script) add(delay int64, instance uint32, life int, then func(), records ...[]byte) {
+	s.order++
+	e := &event{at: s.now + max(delay, 0), order: s.order, instance: instance, life: life, records: records, then: then}
+	heap.Push(&s.queue, e)
+}
+
+func (s *script) setUp() {
+	for i := range endpointCount {
+		s.endpoints = append(s.endpoints, &endpoint{id: uint32(100 + i), zone: uint8(i % 3), kind: uint8(i % 2), cell: uint16(i % 4)})
+	}
+	for i := range uint32(instances) {
+		s.lives[i] = 1
+		s.add(0, i, 0, nil, rec(codeBegin, s.seed*10+uint64(i), uint32(len(settings(s.seed, i))), settings(s.seed, i)))
+		s.list(int64(i)*20*millisecond, i, 4)
+		s.clients(i)
+	}
+	s.changes()
+}
+
+// list tells an instance of all endpoints, or of one that changed (kind 0).
+func (s *script) list(delay int64, instance uint32, kind uint8) {
+	number := uint8(s.rand.IntN(16))
+	chosen := s.endpoints
+	if kind == 0 {
+		chosen = []*endpoint{s.endpoints[s.rand.IntN(len(s.endpoints))]}
+	}
+	fields := []any{number, uint32(len(chosen))}
+	for _, e := range chosen {
+		fields = append(fields, e.id, e.zone, e.kind, e.cell, e.state, float32(1)/float32(len(s.endpoints)), uint64(e.start))
+	}
+	s.add(delay, instance, 0, nil, rec(codeManifest, fields...), rec(codeMembership, uint32(s.order), number, kind))
+}
+
+// load is the part of what the endpoints can do that clients ask for: too much in the middle of the script.
+func (s *script) load() float64 {
+	switch t := (s.now - startTime) / second; {
+	case t >= 10 && t < 14:
+		return 7
+	case t >= 22 && t < 24:
+		return 0.05
+	}
+	return 0.6
+}
+
+// clients has requests come to an instance.
+func (s *script) clients(instance uint32) {
+	gap := int64(s.rand.ExpFloat64() * 30 * millisecond / s.load())
+	s.add(gap, instance, 0, func() { s.clients(instance) }, s.request(instance, gap)...)
+}
+
+func (s *script) request(instance uint32, delay int64) [][]byte {
+	s.nextID++
+	id := s.nextID
+	class := s.rand.IntN(classCount)
+	var key uint64
+	if classes[class].key {
+		key = 1 + uint64(s.rand.IntN(400))
+	}
+	opts := uint8(0)
+	hint := uint32(0)
+	if s.rand.IntN(2) == 0 {
+		opts |= 1
+		hint = uint32(2*millisecond + s.rand.IntN(20*millisecond))
+	}
+	if s.rand.IntN(6) == 0 {
+		opts |= 2
+	}
+	if class >= 1 && class <= 3 {
+		opts |= 4
+	}
+	k := openKey{instance, id}
+	s.requests[k] = &request{class: class}
+	giveUp := classes[class].giveUp
+	life := s.lives[instance]
+	s.add(delay+giveUp, instance, life, func() { delete(s.requests, k) }, rec(codeCancelledByClient, id))
+	if s.rand.IntN(40) == 0 {
+		s.add(delay+int64(s.rand.IntN(60))*millisecond, instance, life, nil, rec(codeCancelledByClient, id))
+	}
+	return [][]byte{rec(codeRequest, id, key, uint64(s.now+delay+giveUp), hint, opts, uint16(s.rand.IntN(tenantCount)), uint8(class))}
+}
+
+// changes has endpoints and instances come and go, and strange things be said.
+func (s *script) changes() {
+	everybody := func(kind uint8) {
+		for i := range uint32(instances) {
+			s.list(int64(s.rand.IntN(200))*millisecond, i, kind)
+		}
+	}
+	e := s.endpoints[s.rand.IntN(len(s.endpoints))]
+	instance := uint32(s.rand.IntN(instances))
+	switch s.rand.IntN(12) {
+	case 0:
+		e.state = 1
+		everybody(4)
+	case 1:
+		e.state = 3
+		everybody(0)
+	case 2, 3, 4:
+		for _, e := range s.endpoints {
+			if e.state != 0 {
+				e.state = 0
+				e.start = s.now
+			}
+		}
+		everybody(4)
+	case 5:
+		s.list(0, instance, 3)
+	case 6:
+		s.add(0, instance, 0, nil, rec(codeMembership, uint32(s.order), uint8(0), uint8(2)))
+	case 7:
+		s.add(0, instance, 0, nil, rec(codeWhisper, uint16(1), uint16(3), "abc"))
+	case 8:
+		bad := "classes.count=1\nclasses.0.target=none\n"
+		s.add(0, instance, 0, nil, rec(codeStop), rec(codeBegin, uint64(1), uint32(len(bad)), bad))
+		s.restart(instance)
+	case 9:
+		s.add(0, instance, 0, nil, rec(codeAnswer, s.nextID+1_000_000, uint16(0), e.id, uint16(200), uint32(900), uint8(1), uint8(0)))
+		s.add(0, instance, 0, nil, rec(codeTimeoutFired, uint32(4_000_000_000)))
+	case 10:
+		nan := float32(math.NaN())
+		s.add(0, instance, 0, nil, rec(codeHealthResult, e.id, uint16(200), uint32(700), uint8(2), []float32{nan, -5}))
+	case 11:
+		everybody(0)
+	}
+	s.add(int64(200+s.rand.IntN(600))*millisecond, instance, 0, s.changes, rec(codeHealthResult, e.id, uint16(504), uint32(250_000), uint8(0)))
+}
+
+func (s *script) restart(instance uint32) {
+	s.lives[instance]++
+	for k := range s.requests {
+		if k.instance == instance {
+			delete(s.requests, k)
+		}
+	}
+	text := settings(s.seed, instance)
+	s.add(0, instance, 0, nil, rec(codeStop), rec(codeBegin, s.rand.Uint64(), uint32(len(text)), text))
+	s.list(30*millisecond, instance, 3)
+	s.list(250*millisecond, instance, 4)
+}
+
+// answer plays the endpoints, the clock and discovery for the actions of one reply.
+func (s *script) answer(actions []action) {
+	instance := uint32(0)
+	for _, a := range actions {
+		switch a.code {
+		case codeAs:
+			instance = binary.BigEndian.Uint32(a.fields)
+		case codeDeliver:
+			s.deliver(instance, binary.BigEndian.Uint64(a.fields), binary.BigEndian.Uint32(a.fields[8:]),
+				int64(binary.BigEndian.Uint32(a.fields[12:])))
+		case codeDecline, codeFail:
+			delete(s.requests, openKey{instance, binary.BigEndian.Uint64(a.fields)})
+		case codeRevoke:
+			s.revoke(instance, binary.BigEndian.Uint64(a.fields), int(binary.BigEndian.Uint16(a.fields[8:])))
+		case codeArm:
+			delay := int64(binary.BigEndian.Uint32(a.fields))
+			s.add(delay, instance, s.lives[instance], nil, rec(codeTimeoutFired, binary.BigEndian.Uint32(a.fields[4:])))
+		case codeSoundOut:
+			s.probe(instance, binary.BigEndian.Uint32(a.fields))
+		case codeListAll:
+			s.list(5*millisecond, instance, 4)
+		}
+	}
+}
+
+func (s *script) endpoint(id uint32) *endpoint { return s.endpoints[int(id-100)] }
+
+func (s *script) report(e *endpoint) []float32 {
+	busy := float32(e.held)
+	return []float32{busy, max(0, busy-4), min(1, busy/4), 12 + 3*busy, e.served, e.failed}
+}
+
+// fault tells what is wrong with an endpoint now: nothing, errors, slowness, silence, refusals, no connection.
+func (s *script) fault(e *endpoint) int {
+	if e.state == 3 {
+		return 5
+	}
+	if t := s.now - startTime; s.seed%3 == 0 && t > 5*second && t < 9*second {
+		return 1
+	}
+	phase := (s.now - startTime) / (4 * second)
+	if int64(e.id+uint32(s.seed))%5 == phase%5 {
+		return int(phase+int64(e.id)) % 6
+	}
+	return 0
+}
+
+func (s *script) deliver(instance uint32, id uint64, endpointID uint32, timeout int64) {
+	e := s.endpoint(endpointID)
+	r := s.requests[openKey{instance, id}]
+	if r == nil {
+		r = &request{}
+	}
+	try := &attempt{endpoint: endpointID, started: s.now}
+	number := uint16(len(r.attempts))
+	r.attempts = append(r.attempts, try)
+	e.held++
+	service := int64((4 + 20*s.rand.ExpFloat64()) * (1 + float64(e.held)/4) * millisecond)
+	status := uint16(200)
+	switch s.fault(e) {
+	case 1:
+		if s.rand.IntN(10) < 8 {
+			status = 500
+			service = 3 * millisecond
+		}
+	case 2:
+		service *= 8
+	case 3:
+		service = 60 * second
+	case 4:
+		if s.rand.IntN(2) == 0 {
+			status = 503
+			service = millisecond
+		}
+	case 5:
+		status = []uint16{502, 598, 410}[s.rand.IntN(3)]
+		service = 2 * millisecond
+	}
+	life := s.lives[instance]
+	if timeout > 0 && service > timeout {
+		service = timeout
+		status = 504
+	}
+	if classes[r.class].stream && status == 200 {
+		s.add(service/2, instance, life, nil, rec(codeHeaders, id, number, endpointID, uint32(service/2)))
+	}
+	s.outcome(service, instance, life, id, number, try, status)
+}
+
+// outcome has an attempt end after delay, unless it has ended by then.
+func (s *script) outcome(delay int64, instance uint32, life int, id uint64, number uint16, try *attempt, status uint16) {
+	// What the record says is settled when it is due: the step before it writes it into the queue.
+	s.order++
+	e := &event{at: s.now + delay, order: s.order, instance: instance, life: life}
+	e.then = func() { s.ended(instance, life, id, number, try, status) }
+	heap.Push(&s.queue, e)
+}
+
+func (s *script) ended(instance uint32, life int, id uint64, number uint16, try *attempt, status uint16) {
+	if try.over {
+		return
+	}
+	try.over = true
+	e := s.endpoint(try.endpoint)
+	e.held--
+	k := openKey{instance, id}
+	settled := uint8(0)
+	if r := s.requests[k]; r != nil && status == 200 && !r.over {
+		settled = 1
+		r.over = true
+		delete(s.requests, k)
+	}
+	if status == 200 {
+		e.served = 0.9*e.served + 1
+	} else {
+		e.failed = 0.9*e.failed + 1
+	}
+	report := s.report(e)
+	if s.seed%2 == 0 || status != 200 {
+		report = nil
+	}
+	s.add(0, instance, life, nil, rec(codeAnswer, id, number, try.endpoint, status, uint32(s.now-try.started), settled,
+		uint8(len(report)), report))
+}
+
+func (s *script) revoke(instance uint32, id uint64, number int) {
+	r := s.requests[openKey{instance, id}]
+	if r == nil || number >= len(r.attempts) || r.attempts[number].over {
+		return
+	}
+	s.outcome(millisecond, instance, s.lives[instance], id, uint16(number), r.attempts[number], 499)
+}
+
+func (s *script) probe(instance uint32, endpointID uint32) {
+	e := s.endpoint(endpointID)
+	life := s.lives[instance]
+	switch s.fault(e) {
+	case 3:
+		s.add(200*millisecond, instance, life, nil, rec(codeHealthResult, endpointID, uint16(504), uint32(200*millisecond), uint8(0)))
+	case 5:
+		s.add(millisecond, instance, life, nil, rec(codeHealthResult, endpointID, uint16(502), uint32(millisecond), uint8(0)))
+	default:
+		took := 2*millisecond + int64(s.rand.IntN(3*millisecond))
+		report := s.report(e)
+		s.add(took, instance, life, nil, rec(codeHealthResult, endpointID, uint16(200), uint32(took), uint8(len(report)), report))
+	}
+}
