Rename package decide/bans to decide/cordon

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else.

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -21,7 +21,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/port"
@@ -572,7 +572,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
-			words, err := json.Marshal([]bans.Word{{Name: "s-0", Out: true, At: 1}})
+			words, err := json.Marshal([]cordon.Word{{Name: "s-0", Out: true, At: 1}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/shares"
@@ -262,9 +262,9 @@
 
 // ByHand takes an endpoint out by hand, or lets it in again (engine.Engine.ByHand). It returns once that holds, or with
 // the error of a core that has not come to it when ctx ends.
-func (x *Core) ByHand(ctx context.Context, name string, out bool, at bans.Micros) (w bans.Word, known bool, err error) {
+func (x *Core) ByHand(ctx context.Context, name string, out bool, at cordon.Micros) (w cordon.Word, known bool, err error) {
 	type said struct {
-		w     bans.Word
+		w     cordon.Word
 		known bool
 	}
 	s, err := within(ctx, x, func(now balancer.Micros) (s said) {
@@ -275,7 +275,7 @@
 }
 
 // Hear takes words in that were said elsewhere.
-func (x *Core) Hear(words ...bans.Word) {
+func (x *Core) Hear(words ...cordon.Word) {
 	x.post(func(now balancer.Micros) {
 		for _, w := range words {
 			x.engine.Hear(now, w)
@@ -284,8 +284,8 @@
 }
 
 // Words returns the words on endpoints by hand.
-func (x *Core) Words(ctx context.Context) ([]bans.Word, error) {
-	return within(ctx, x, func(balancer.Micros) []bans.Word { return x.engine.Words() })
+func (x *Core) Words(ctx context.Context) ([]cordon.Word, error) {
+	return within(ctx, x, func(balancer.Micros) []cordon.Word { return x.engine.Words() })
 }
 
 // Figures returns what the core shows of itself, and calls beside in the same instant.
--- a/internal/decide/bans/bans.go
+++ b/internal/decide/cordon/bans.go
@@ -1,7 +1,7 @@
-// Package bans decides which endpoints are out by hand. It keeps the latest word on each name; words of several sources,
+// Package cordon decides which endpoints are out by hand. It keeps the latest word on each name; words of several sources,
 // as of the two processes of an upgrade, may be told in any order and more than once, and all who have heard the same
 // words hold the same. It is a deterministic state machine for one caller at a time and knows neither lists nor balancers.
-package bans
+package cordon
 
 import (
 	"cmp"
--- a/internal/decide/bans/bans_test.go
+++ b/internal/decide/cordon/bans_test.go
@@ -1,4 +1,4 @@
-package bans
+package cordon
 
 import (
 	"fmt"
--- a/internal/engine/byhand.go
+++ b/internal/engine/byhand.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 )
 
 // This file holds what operators say and ask: endpoints out by hand, and figures.
@@ -12,20 +12,20 @@
 // ByHand takes an endpoint out of all pools that have it, or lets it in again; at is the instant on the clock of words,
 // which all who exchange them read alike. known is false for a name that nobody has: then nothing is changed, and there is
 // no word. A name that is out is known whether or not a list has it.
-func (x *Engine) ByHand(now Micros, name string, out bool, at bans.Micros) (w bans.Word, known bool) {
+func (x *Engine) ByHand(now Micros, name string, out bool, at cordon.Micros) (w cordon.Word, known bool) {
 	for _, p := range x.pools {
 		known = known || p.has(name)
 	}
 	if !known && !x.bans.Out(name) {
-		return bans.Word{}, false
+		return cordon.Word{}, false
 	}
-	w = bans.Word{Name: name, Out: out, At: max(at, x.bans.Latest(name)+1)}
+	w = cordon.Word{Name: name, Out: out, At: max(at, x.bans.Latest(name)+1)}
 	x.Hear(now, w)
 	return w, true
 }
 
 // Hear takes a word in that was said here or elsewhere.
-func (x *Engine) Hear(now Micros, w bans.Word) {
+func (x *Engine) Hear(now Micros, w cordon.Word) {
 	x.now = now
 	if !x.bans.Say(w) {
 		return
@@ -41,7 +41,7 @@
 }
 
 // Words returns the words on endpoints by hand, for another that is to hold the same.
-func (x *Engine) Words() []bans.Word { return x.bans.Words() }
+func (x *Engine) Words() []cordon.Word { return x.bans.Words() }
 
 // ban has the balancer obey, and keeps in what waits for a connection.
 func (p *Pool) ban(now Micros, e *Endpoint, out bool) {
--- a/internal/engine/byhand_test.go
+++ b/internal/engine/byhand_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 )
 
 // Whatever is told, handed over or said in between, nothing new goes to what is out: lists in which a name drains, leaves, comes
@@ -23,7 +23,7 @@
 		}
 		tell()
 		out := map[string]bool{}
-		var words []bans.Word
+		var words []cordon.Word
 		for range 60 {
 			i := rng.IntN(len(list))
 			switch name := list[i].Name; rng.IntN(6) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,7 +11,7 @@
 	"math/rand/v2"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/site"
 )
@@ -159,7 +159,7 @@
 
 	now      Micros  // the instant of the present event
 	pools    []*Pool // not gone
-	bans     bans.Set
+	bans     cordon.Set
 	together *together // nil where nothing is decided with other instances
 	ordered  ordered   // what is obeyed of the order in which machines go out
 	lastID   uint64
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/shares"
 )
@@ -16,7 +16,7 @@
 // are passed over there, part by part.
 type Snapshot struct {
 	Pools []PoolSnapshot `json:"Pools"`
-	Words []bans.Word    `json:"Words"` // on endpoints by hand
+	Words []cordon.Word  `json:"Words"` // on endpoints by hand
 
 	Fleet *loans.State `json:"Fleet,omitempty"` // what GiveFleet returned; nil is nothing
 	Order *Orders      `json:"Order,omitempty"` // what is obeyed of machines out, with times from the snapshot's instant on; nil is nothing
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/platform"
@@ -534,12 +534,12 @@
 }
 
 // say tells a word to the other processes of this sidecar. It may be called from any goroutine.
-func (l *course) say(w bans.Word) {
+func (l *course) say(w cordon.Word) {
 	l.peers.Lock()
 	to := l.talked
 	l.peers.Unlock()
 	for _, c := range to {
-		text, err := json.Marshal([]bans.Word{w})
+		text, err := json.Marshal([]cordon.Word{w})
 		if err == nil {
 			c.Write(takeover.Message{Kind: takeover.Words, Text: text}) // a failure shows as the connection's end
 		}
@@ -547,7 +547,7 @@
 }
 
 func (l *course) hear(text []byte) {
-	var words []bans.Word
+	var words []cordon.Word
 	if err := json.Unmarshal(text, &words); err != nil {
 		l.s.log.Warn("words by hand from the other process make no sense", "error", err)
 		return
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -11,7 +11,7 @@
 	"path/filepath"
 	"strconv"
 
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/operators"
 	"dunlinsail/internal/takeover"
@@ -78,7 +78,7 @@
 }
 
 // spoken returns the words that another process of this sidecar has kept.
-func (s *sidecar) spoken() (words []bans.Word) {
+func (s *sidecar) spoken() (words []cordon.Word) {
 	if s.config.Meeting == "" {
 		return nil
 	}
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"testing"
 
-	"dunlinsail/internal/decide/bans"
+	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/standin/peer"
 )
@@ -26,7 +26,7 @@
 	}
 	s := &sidecar{config: &platform.Config{Meeting: dir}, log: peer.Quiet}
 	words := s.spoken()
-	want := []bans.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
+	want := []cordon.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
 		t.Fatalf("read %+v, want %+v", words, want)
 	}
