Rename package decide/conns to decide/connlimit

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/limit"
 	"dunlinsail/internal/decide/loans"
@@ -456,9 +456,9 @@
 const inFlightFirst = 16
 
 // RestLimits returns the bounds on clients' connections.
-func (c *Config) RestLimits() conns.Limits {
+func (c *Config) RestLimits() connlimit.Limits {
 	n := &c.Connections
-	return conns.Limits{Total: n.Clients, AtRest: n.AtRest, IdleMost: n.RestMost.Micros(), IdleLeast: n.RestLeast.Micros()}
+	return connlimit.Limits{Total: n.Clients, AtRest: n.AtRest, IdleMost: n.RestMost.Micros(), IdleLeast: n.RestLeast.Micros()}
 }
 
 // Differs returns the tables that differ between two files and cannot be changed while a daemon serves: all but the
--- a/internal/decide/conns/conns.go
+++ b/internal/decide/connlimit/conns.go
@@ -1,4 +1,4 @@
-// Package conns decides which of its clients' connections a server keeps. It knows connections, who owns
+// Package connlimit decides which of its clients' connections a server keeps. It knows connections, who owns
 // them and which of them have an open request; it knows nothing of sockets, and closes none itself: what it
 // returns is for its host to close. It is a deterministic state machine for one caller at a time.
 //
@@ -10,7 +10,7 @@
 //
 // A connection that seems to rest may have a request on its way through the host: come, and not yet taken. To close
 // it would lose that request, so the host is asked first.
-package conns
+package connlimit
 
 import (
 	"container/list"
--- a/internal/decide/conns/conns_test.go
+++ b/internal/decide/connlimit/conns_test.go
@@ -1,4 +1,4 @@
-package conns
+package connlimit
 
 import (
 	"fmt"
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/engine"
 )
@@ -25,7 +25,7 @@
 type Client struct {
 	Name  string
 	share *engine.Client
-	owner *conns.Owner[*conn] // guarded by connections.mu
+	owner *connlimit.Owner[*conn] // guarded by connections.mu
 }
 
 // Spec is what a client may do. A bound of 0 is no bound.
@@ -44,7 +44,7 @@
 	r      *bufio.Reader    // nil while nothing is being read: a connection at rest holds no buffer
 
 	// Guarded by connections.mu.
-	place   *conns.Conn[*conn]
+	place   *connlimit.Conn[*conn]
 	parked  bool // it waits for the first byte of a request
 	begun   bool // a request has begun to come that is not taken yet
 	called  bool // release has ended that wait; it is not over for it
@@ -60,7 +60,7 @@
 	log   *slog.Logger
 
 	mu      sync.Mutex
-	table   *conns.Table[*conn]
+	table   *connlimit.Table[*conn]
 	idle    *time.Timer // looks for what has rested too long
 	closing bool
 	talks   int             // connections that are being served
@@ -70,10 +70,10 @@
 	releases int                 // how often that has begun
 }
 
-func newConnections(l conns.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
+func newConnections(l connlimit.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
 	k := &connections{clock: clk, talk: talk, log: log}
 	var err error
-	if k.table, err = conns.New(l, k.rests); err != nil {
+	if k.table, err = connlimit.New(l, k.rests); err != nil {
 		return nil, err
 	}
 	k.idle = time.AfterFunc(time.Hour, k.expire)
@@ -212,7 +212,7 @@
 	}
 }
 
-func (k *connections) closeLocked(place *conns.Conn[*conn]) {
+func (k *connections) closeLocked(place *connlimit.Conn[*conn]) {
 	if place != nil {
 		k.table.Close(place)
 		place.Value.Close()
@@ -272,7 +272,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
-	k.table.Each(func(c *conns.Conn[*conn]) { c.Value.Close() })
+	k.table.Each(func(c *connlimit.Conn[*conn]) { c.Value.Close() })
 }
 
 // hush closes the connections without an open request; those with one, or of which a part has come, close once they have their
@@ -290,7 +290,7 @@
 func (k *connections) hushHalves() (n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.table.Each(func(p *conns.Conn[*conn]) {
+	k.table.Each(func(p *connlimit.Conn[*conn]) {
 		if c := p.Value; c.begun && c.in.empty() {
 			k.closeLocked(p)
 			n++
@@ -323,7 +323,7 @@
 		return
 	}
 	k.releases++
-	k.table.Resting(func(p *conns.Conn[*conn]) {
+	k.table.Resting(func(p *connlimit.Conn[*conn]) {
 		if c := p.Value; c.parked {
 			c.called = true
 			c.SetReadDeadline(past)
--- a/internal/front/http1/conns_test.go
+++ b/internal/front/http1/conns_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -15,7 +15,7 @@
 func TestHandingOverTakenBackAtOnce(t *testing.T) {
 	said := make(chan byte, 1)
 	var k *connections
-	k, err := newConnections(conns.Limits{Total: 2, AtRest: 2, IdleMost: 1e9}, clock.New(), func(c *conn) {
+	k, err := newConnections(connlimit.Limits{Total: 2, AtRest: 2, IdleMost: 1e9}, clock.New(), func(c *conn) {
 		for {
 			var b [1]byte // as exchange does, the deadline that ended the wait is replaced
 			if !k.park(c, time.Time{}) {
@@ -56,7 +56,7 @@
 			k.mu.Lock()
 			defer k.mu.Unlock()
 			n := 0
-			k.table.Resting(func(p *conns.Conn[*conn]) {
+			k.table.Resting(func(p *connlimit.Conn[*conn]) {
 				if p.Value.parked {
 					n++
 				}
@@ -90,7 +90,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			step, over := make(chan *conn, 2), make(chan struct{})
-			k, err := newConnections(conns.Limits{Total: 4, AtRest: 1, IdleMost: 1e9, IdleLeast: 1e9}, clock.New(), func(c *conn) {
+			k, err := newConnections(connlimit.Limits{Total: 4, AtRest: 1, IdleMost: 1e9, IdleLeast: 1e9}, clock.New(), func(c *conn) {
 				if tc.read {
 					b := make([]byte, 100)
 					if _, err := c.in.Read(b); err != nil {
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -23,7 +23,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/message"
 	"dunlinsail/internal/site"
@@ -45,7 +45,7 @@
 	Clock  clock.Clock
 	Site   *site.Site
 	Core   *core.Core
-	Limits conns.Limits // of the clients' connections
+	Limits connlimit.Limits // of the clients' connections
 	Log    *slog.Logger
 
 	Pool *core.Pool // to which all requests go, without routes
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
@@ -36,12 +36,12 @@
 	wakeAt  Micros // the instant of the wake that is scheduled; 0 is none
 	seed    uint64
 
-	table    *conns.Table[*clientConn]
-	owners   []*conns.Owner[*clientConn]
-	resting  [][]*conns.Conn[*clientConn] // of each process, the one used last behind
-	upstream map[int][]kept               // connections to endpoints without an open request
-	conns    int                          // all of them
-	rest     float64                      // that may be kept; 0 is no bound
+	table    *connlimit.Table[*clientConn]
+	owners   []*connlimit.Owner[*clientConn]
+	resting  [][]*connlimit.Conn[*clientConn] // of each process, the one used last behind
+	upstream map[int][]kept                   // connections to endpoints without an open request
+	conns    int                              // all of them
+	rest     float64                          // that may be kept; 0 is no bound
 
 	open    []*try // taken and without an answer
 	listed  bool   // it has been told a list
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	if in.table, err = conns.New[*clientConn](r.settings.Clients, nil); err != nil {
+	if in.table, err = connlimit.New[*clientConn](r.settings.Clients, nil); err != nil {
 		return err
 	}
 	in.clients, in.owners, in.resting = nil, nil, nil
@@ -259,7 +259,7 @@
 }
 
 // drop forgets a client's connection that was closed at rest.
-func (in *instance) drop(c *conns.Conn[*clientConn]) {
+func (in *instance) drop(c *connlimit.Conn[*clientConn]) {
 	rest := in.resting[c.Value.process]
 	for i := range rest {
 		if rest[i] == c {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
@@ -43,7 +43,7 @@
 	Overload    *overload.Settings // of each instance: their number is filled in; nil is none
 	Together    *engine.Together   // of each: who it is and who carries words are filled in; nil is none
 	Connections int                // to endpoints, of an instance; 0 is no bound
-	Clients     conns.Limits
+	Clients     connlimit.Limits
 	Client      shares.Spec // what each client process may do
 
 	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots differ
@@ -417,7 +417,7 @@
 	done    bool // for the client
 	life    uint32
 	call    engine.Call
-	conn    *conns.Conn[*clientConn]
+	conn    *connlimit.Conn[*clientConn]
 	answer  engine.Answer
 	has     bool // the instance has answered
 	taken   bool // by the engine
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,7 +17,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
-	"dunlinsail/internal/decide/conns"
+	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/discovery"
@@ -62,8 +62,8 @@
 
 // clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
 // connections to endpoints: an open request has one of each, and probes and second attempts want more.
-func clientLimits(sockets int) conns.Limits {
-	return conns.Limits{Total: (sockets - ownSockets) / 2, AtRest: (sockets - ownSockets) / restPart,
+func clientLimits(sockets int) connlimit.Limits {
+	return connlimit.Limits{Total: (sockets - ownSockets) / 2, AtRest: (sockets - ownSockets) / restPart,
 		IdleMost: clock.Micros(idleMost), IdleLeast: clock.Micros(idleLeast)}
 }
 
