Rename package decide/evidence to decide/observations

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
 // the fleet's one lease (package lease), what each may spend of the fleet's budgets (package loans) and what all have seen
-// (package evidence). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
+// (package observations). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
 // it for loans once in a while, and tell it with that what they have seen. Nothing waits for any of it: whoever is not answered
 // goes on with what it holds, and then with its least. It is a deterministic state machine for one caller at a time: no I/O, no
 // clock, chance by a seed. It may not know how words are carried, or whom.
@@ -10,9 +10,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinsail/internal/decide/evidence"
 	"dunlinsail/internal/decide/lease"
 	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
 )
 
@@ -31,11 +31,11 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Lease *lease.Word    `cbor:"Lease"`
-	Ask   *loans.Ask     `cbor:"Ask"`
-	Seen  *evidence.Seen `cbor:"Seen"` // with Ask
-	Grant *loans.Grant   `cbor:"Grant"`
-	All   *evidence.All  `cbor:"All"` // with Grant
+	Lease *lease.Word        `cbor:"Lease"`
+	Ask   *loans.Ask         `cbor:"Ask"`
+	Seen  *observations.Seen `cbor:"Seen"` // with Ask
+	Grant *loans.Grant       `cbor:"Grant"`
+	All   *observations.All  `cbor:"All"` // with Grant
 }
 
 // Out is a word that is to be told.
@@ -51,14 +51,14 @@
 	holder *loans.Holder
 	voter  *lease.Voter // nil for who is no lender
 	book   *loans.Book
-	sum    *evidence.Sum
+	sum    *observations.Sum
 	joint  map[string]*overload.Joint // levels, by set of endpoints, while it keeps the book
-	all    evidence.All               // that it comes to,
+	all    observations.All           // that it comes to,
 	allAt  Micros                     // as added up last
 	out    []Out
 
-	seen   func(now Micros) evidence.Seen // what it has seen itself; may be nil
-	told   evidence.All                   // what all have
+	seen   func(now Micros) observations.Seen // what it has seen itself; may be nil
+	told   observations.All                   // what all have
 	toldAt Micros
 	news   bool // since it was taken last
 	askAt  Micros
@@ -67,7 +67,7 @@
 
 // New returns an instance that has not begun, or the error of settings that make no sense.
 func New(s Settings) (*Member, error) {
-	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: evidence.NewSum(), joint: map[string]*overload.Joint{}}
+	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: observations.NewSum(), joint: map[string]*overload.Joint{}}
 	var err error
 	if m.holder, err = loans.NewHolder(s.Loans); err != nil {
 		return nil, err
@@ -89,7 +89,7 @@
 }
 
 // Sees says what tells what the instance has seen itself.
-func (m *Member) Sees(f func(now Micros) evidence.Seen) { m.seen = f }
+func (m *Member) Sees(f func(now Micros) observations.Seen) { m.seen = f }
 
 // Begin begins the instance's life, as a process that no other is beside. life is a number that no other process of its name
 // has had.
@@ -215,7 +215,7 @@
 	}
 	if _, open := m.book.Open(); yes && !open {
 		m.book.Begin(now, held)
-		m.sum, m.all, m.allAt = evidence.NewSum(), evidence.All{}, now
+		m.sum, m.all, m.allAt = observations.NewSum(), observations.All{}, now
 		clear(m.joint)
 	}
 }
@@ -294,7 +294,7 @@
 }
 
 // everything is what all have seen, added up once in a while.
-func (m *Member) everything(now Micros) evidence.All {
+func (m *Member) everything(now Micros) observations.All {
 	if now-m.allAt >= m.s.Loans.Every/4 {
 		m.all, m.allAt = m.sum.All(now), now
 		m.all.Levels = slices.Clone(m.all.Levels)
@@ -316,9 +316,9 @@
 
 // Told returns what all have seen, once each time that it is news; ok is false where nothing new was heard. Where nothing has
 // been heard for long it returns nothing as news, once.
-func (m *Member) Told(now Micros) (all evidence.All, ok bool) {
+func (m *Member) Told(now Micros) (all observations.All, ok bool) {
 	if !m.news && m.told.Members > 0 && now-m.toldAt > old*m.s.Loans.Every {
-		m.told, m.news = evidence.All{}, true
+		m.told, m.news = observations.All{}, true
 	}
 	ok, m.news = m.news, false
 	return m.told, ok
--- a/internal/decide/evidence/evidence.go
+++ b/internal/decide/observations/evidence.go
@@ -1,9 +1,9 @@
-// Package evidence adds up what the instances of a fleet have seen. Each by itself sees little of a fleet that is large: an
+// Package observations adds up what the instances of a fleet have seen. Each by itself sees little of a fleet that is large: an
 // endpoint that fails is met once in a while by each of hundreds, and how much work has to be turned away shows in a few
 // requests. Together they have seen enough within a second. Own holds what one instance has seen, Sum what all have; what Sum
 // says is evidence only: whoever hears it decides by itself, and goes on by its own where nothing is heard. It is deterministic,
 // for one caller at a time: no I/O, no clock. It may not know balancers, sockets or who is alive.
-package evidence
+package observations
 
 import (
 	"cmp"
--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/observations/evidence_test.go
@@ -1,4 +1,4 @@
-package evidence
+package observations
 
 import (
 	"fmt"
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/evidence"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/observations"
 )
 
 // Together is what an engine needs to decide with the other instances of its fleet.
@@ -32,7 +32,7 @@
 type together struct {
 	Together
 	member  *fleet.Member
-	own     evidence.Own
+	own     observations.Own
 	alarm   *alarm
 	suspect map[suspect]float64 // what was told last
 	tenants []string            // budgets of the tenants, in their order; empty is of one without a limit
@@ -153,7 +153,7 @@
 const countsMost = 32
 
 // sees is what this instance has seen, with what it adds to the budgets that are earned.
-func (x *Engine) sees(now Micros) (s evidence.Seen) {
+func (x *Engine) sees(now Micros) (s observations.Seen) {
 	t := x.together
 	for _, p := range x.pools {
 		l := p.loaded
@@ -167,7 +167,7 @@
 		}
 		if t.Uses.Level {
 			level, load, asked, vain := l.control.Evidence()
-			s.Levels = append(s.Levels, evidence.Level{Of: p.name, Level: level, Load: load, Asked: float64(asked), Vain: float64(vain)})
+			s.Levels = append(s.Levels, observations.Level{Of: p.name, Level: level, Load: load, Asked: float64(asked), Vain: float64(vain)})
 		}
 		p.lent(now)
 	}
@@ -178,7 +178,7 @@
 }
 
 // told takes in what all have seen.
-func (x *Engine) told(now Micros, all *evidence.All) {
+func (x *Engine) told(now Micros, all *observations.All) {
 	t := x.together
 	fresh := map[suspect]float64{}
 	for _, s := range all.Suspects {
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -6,9 +6,9 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/evidence"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/site"
@@ -176,11 +176,11 @@
 	}
 	count(0)
 	before := count(1)
-	x.told(now, &evidence.All{Suspects: []evidence.Suspect{{Endpoint: "e1", Class: 1, Chance: 0.95}, {Endpoint: "gone", Class: 0, Chance: 1}}})
+	x.told(now, &observations.All{Suspects: []observations.Suspect{{Endpoint: "e1", Class: 1, Chance: 0.95}, {Endpoint: "gone", Class: 0, Chance: 1}}})
 	if suspected, other := count(1), count(0); suspected > 0.04 || other < 0.06 { // without probes the one that seems fastest gets most, whichever that is
 		t.Errorf("%.2f go to the one that is suspected, %.2f before, %.2f of the other class", suspected, before, other)
 	}
-	x.told(now, &evidence.All{})
+	x.told(now, &observations.All{})
 	if n := count(1); n < 0.06 {
 		t.Errorf("%.2f go there once nothing is held against it, %.2f before", n, before)
 	}
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/decide/evidence"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/lease"
 	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/settle"
 )
 
@@ -30,18 +30,18 @@
 			{Budget: "tenant/one", Asked: 100, Used: 1e6, Holds: 1, Earns: 0.5},
 		},
 	}
-	seen := &evidence.Seen{
-		Levels: []evidence.Level{{Of: "pool", Level: 0.75, Load: 0.3, Asked: 120, Vain: 13}},
-		Counts: []evidence.Count{{Endpoint: "pool/s-1", Class: 2, OK: 13.37, Failed: 4.5}},
+	seen := &observations.Seen{
+		Levels: []observations.Level{{Of: "pool", Level: 0.75, Load: 0.3, Asked: 120, Vain: 13}},
+		Counts: []observations.Count{{Endpoint: "pool/s-1", Class: 2, OK: 13.37, Failed: 4.5}},
 	}
 	grant := &loans.Grant{
 		Life: 0x0123456789abcdef, Number: 23, Term: term, Serial: 6, Length: 2_000_000,
 		Shares: []loans.Share{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
 	}
-	all := &evidence.All{
-		Levels:   []evidence.Level{{Of: "pool", Level: 0.5, Load: 0.25, Asked: 1200, Vain: 130}},
+	all := &observations.All{
+		Levels:   []observations.Level{{Of: "pool", Level: 0.5, Load: 0.25, Asked: 1200, Vain: 130}},
 		Members:  9,
-		Suspects: []evidence.Suspect{{Endpoint: "pool/s-1", Class: 2, Chance: 0.95}},
+		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, Chance: 0.95}},
 	}
 	words := map[string]fleet.Word{
 		"lease-ask": {Lease: &lease.Word{Kind: lease.Ask, Life: term.Life, Number: 17}},
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/decide/evidence"
 	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -62,9 +62,9 @@
 	defer c.Close(false)
 	until(t, "they do not find one another", func() bool { return alive(a, "b") && alive(b, "a") })
 	small := fleet.Word{Ask: &loans.Ask{Life: 1, Number: 2, Wants: []loans.Want{{Budget: "x", Asked: 1.5, Holds: 3}}}}
-	large := fleet.Word{Ask: small.Ask, Seen: &evidence.Seen{}}
+	large := fleet.Word{Ask: small.Ask, Seen: &observations.Seen{}}
 	for i := range 200 {
-		large.Seen.Counts = append(large.Seen.Counts, evidence.Count{Endpoint: fmt.Sprint("endpoint-", i), OK: float64(i)})
+		large.Seen.Counts = append(large.Seen.Counts, observations.Count{Endpoint: fmt.Sprint("endpoint-", i), OK: float64(i)})
 	}
 	for _, w := range []fleet.Word{small, large} {
 		b.Tell("a", w)
