Rename package decide/fleet to decide/coordination

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/model/talk"
 	"dunlinsail/internal/peers"
 )
@@ -77,7 +77,7 @@
 }
 
 func (c *wordsCmd) play(ctx context.Context, name string, faults []talk.Fault) (t told, err error) {
-	size := func(w fleet.Word) int {
+	size := func(w coordination.Word) int {
 		text, err := peers.Encode("instance-100", "instance-100", w)
 		if err != nil {
 			panic(err) // of our own words
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,8 +13,8 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/cordon"
-	"dunlinsail/internal/decide/fleet"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/work"
@@ -326,7 +326,7 @@
 func (x *Core) BeginFleet() { x.post(x.engine.BeginFleet) }
 
 // Word takes a word of another instance in.
-func (x *Core) Word(from string, w fleet.Word) {
+func (x *Core) Word(from string, w coordination.Word) {
 	x.post(func(now balancer.Micros) { x.engine.Word(now, from, w) })
 }
 
@@ -335,8 +335,8 @@
 func (x *Core) GiveFleet() *loans.State { return ask(x, x.engine.GiveFleet) }
 
 // FleetView returns what is known of the fleet; no where there is none.
-func (x *Core) FleetView(ctx context.Context) (v fleet.View, yes bool, err error) {
-	v, err = within(ctx, x, func(now balancer.Micros) (v fleet.View) {
+func (x *Core) FleetView(ctx context.Context) (v coordination.View, yes bool, err error) {
+	v, err = within(ctx, x, func(now balancer.Micros) (v coordination.View) {
 		v, yes = x.engine.FleetView(now)
 		return v
 	})
--- a/internal/daemon/spent_test.go
+++ b/internal/daemon/spent_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	words "dunlinsail/internal/decide/fleet"
+	words "dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/peers"
 )
 
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"dunlinsail/internal/clock"
-	words "dunlinsail/internal/decide/fleet"
+	words "dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/peers"
 )
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/coordination/fleet.go
@@ -1,10 +1,10 @@
-// Package fleet is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
+// Package coordination is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
 // the fleet's one lease (package lease), what each may spend of the fleet's budgets (package loans) and what all have seen
 // (package observations). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
 // it for loans once in a while, and tell it with that what they have seen. Nothing waits for any of it: whoever is not answered
 // goes on with what it holds, and then with its least. It is a deterministic state machine for one caller at a time: no I/O, no
 // clock, chance by a seed. It may not know how words are carried, or whom.
-package fleet
+package coordination
 
 import (
 	"math/rand/v2"
--- a/internal/decide/fleet/golden_test.go
+++ b/internal/decide/coordination/golden_test.go
@@ -1,4 +1,4 @@
-package fleet
+package coordination
 
 import (
 	"bytes"
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -12,7 +12,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/limit"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
@@ -142,8 +142,8 @@
 	s.Settings.Contract.RampTime = 20 * second
 	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &limit.Settings{Least: 1, Most: 200, First: 20}}})
 	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
-	err := x.Join(Together{Uses: uses, Tell: func(string, fleet.Word) {}, Lives: func() uint64 { return 7 },
-		Fleet: fleet.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
+	err := x.Join(Together{Uses: uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 },
+		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
 			Loans: loans.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -6,17 +6,17 @@
 	"strings"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
 )
 
 // Together is what an engine needs to decide with the other instances of its fleet.
 type Together struct {
-	Fleet fleet.Settings
+	Fleet coordination.Settings
 	Uses  Uses
-	Tell  func(to string, w fleet.Word) // carries a word; must not wait, and must not call the engine
-	Lives func() uint64                 // a number at each call that no other process of the name ever had
+	Tell  func(to string, w coordination.Word) // carries a word; must not wait, and must not call the engine
+	Lives func() uint64                        // a number at each call that no other process of the name ever had
 }
 
 // Uses says what is decided with the others.
@@ -31,7 +31,7 @@
 // together is an engine's part in its fleet.
 type together struct {
 	Together
-	member  *fleet.Member
+	member  *coordination.Member
 	own     observations.Own
 	alarm   *alarm
 	suspect map[suspect]float64 // what was told last
@@ -48,7 +48,7 @@
 // Join has the engine decide with its fleet from BeginFleet or a Restore of what GiveFleet returned on, or returns the error of settings that make no sense. It
 // goes before the first pool.
 func (x *Engine) Join(t Together) error {
-	m, err := fleet.New(t.Fleet)
+	m, err := coordination.New(t.Fleet)
 	if err != nil {
 		return err
 	}
@@ -71,8 +71,8 @@
 	if !slices.ContainsFunc(x.config.Site.Limits, func(v float64) bool { return v > 0 }) {
 		return
 	}
-	err := x.Join(Together{Fleet: fleet.Settings{Loans: loans.Settings{Most: max(1, s.Balancers), Place: s.Position, Ready: 1, Every: second, Length: 4 * second}},
-		Tell: func(string, fleet.Word) {}, Lives: func() uint64 { return 1 }})
+	err := x.Join(Together{Fleet: coordination.Settings{Loans: loans.Settings{Most: max(1, s.Balancers), Place: s.Position, Ready: 1, Every: second, Length: 4 * second}},
+		Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 1 }})
 	if err != nil {
 		panic(err) // of our own settings
 	}
@@ -89,7 +89,7 @@
 }
 
 // Word takes a word of another instance in.
-func (x *Engine) Word(now Micros, from string, w fleet.Word) {
+func (x *Engine) Word(now Micros, from string, w coordination.Word) {
 	if t := x.together; t != nil {
 		x.now = now
 		t.member.Hear(now, from, w)
@@ -120,7 +120,7 @@
 }
 
 // FleetView returns what is known of the fleet; no where there is none.
-func (x *Engine) FleetView(now Micros) (v fleet.View, yes bool) {
+func (x *Engine) FleetView(now Micros) (v coordination.View, yes bool) {
 	if x.together == nil {
 		return v, false
 	}
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
@@ -47,7 +47,7 @@
 	h := &carrier{answers: map[string]Answer{}}
 	x := New(Config{Site: s, Seed: 1, Host: h, Sharing: Sharing{Open: 1000}})
 	if uses != nil {
-		err := x.Join(Together{Uses: *uses, Tell: func(string, fleet.Word) {}, Lives: func() uint64 { return 7 }, Fleet: fleet.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
+		err := x.Join(Together{Uses: *uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 }, Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
 			Loans: loans.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 		if err != nil {
 			t.Fatal(err)
@@ -151,7 +151,7 @@
 	}
 }
 
-func mustView(x *Engine, now Micros) fleet.View {
+func mustView(x *Engine, now Micros) coordination.View {
 	v, _ := x.FleetView(now)
 	return v
 }
--- a/internal/lab/live/words.go
+++ b/internal/lab/live/words.go
@@ -22,7 +22,7 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/peers"
 	"dunlinsail/internal/standin/port"
@@ -274,7 +274,7 @@
 	}
 	f := t.Fleet
 	f.Self, f.Lenders, f.Loans.Most = fmt.Sprint("instance-", len(r.plan.Instances)), model.Lenders(f.Lenders, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
-	m, err := fleet.New(f)
+	m, err := coordination.New(f)
 	if err != nil {
 		return nil, err
 	}
@@ -283,7 +283,7 @@
 	}
 	var mu sync.Mutex // guards m
 	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Lenders)], Log: slog.New(slog.DiscardHandler),
-		Hear: func(from string, w fleet.Word) {
+		Hear: func(from string, w coordination.Word) {
 			mu.Lock()
 			defer mu.Unlock()
 			m.Hear(clock.Boot(), from, w)
--- a/internal/model/talk/talk.go
+++ b/internal/model/talk/talk.go
@@ -11,7 +11,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/loans"
 )
 
@@ -28,15 +28,15 @@
 	Demand  float64 // of all together, in units a second
 	Length  Micros
 	Seed    uint64
-	Fleet   fleet.Settings       // of each: names and seeds are filled in
-	Size    func(fleet.Word) int // of a word as it is carried; nil counts words alone
+	Fleet   coordination.Settings       // of each: names and seeds are filled in
+	Size    func(coordination.Word) int // of a word as it is carried; nil counts words alone
 	Faults  []Fault
 	Plant   string // an error that is planted, by name (Plants); "" is none
 }
 
 // Shipped are the settings that hold where operators say no more (package config).
-func Shipped() fleet.Settings {
-	return fleet.Settings{Lease: second, Loans: loans.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
+func Shipped() coordination.Settings {
+	return coordination.Settings{Lease: second, Loans: loans.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
 }
 
 // Fault is something that goes wrong.
@@ -89,7 +89,7 @@
 type member struct {
 	n      int
 	name   string
-	m      *fleet.Member
+	m      *coordination.Member
 	up     bool
 	asleep Micros // until then
 	rate   float64
@@ -215,7 +215,7 @@
 	return nil
 }
 
-func (w *world) member(x *member) (*fleet.Member, error) {
+func (w *world) member(x *member) (*coordination.Member, error) {
 	f := w.s.Fleet
 	f.Self, f.Lenders, f.Seed = x.name, w.lenders, w.s.Seed<<20+w.lives
 	f.Loans.Most = w.s.Members
@@ -225,7 +225,7 @@
 	if w.s.Plant == "more than said" {
 		f.Loans.Most = max(1, w.s.Members/4)
 	}
-	m, err := fleet.New(f)
+	m, err := coordination.New(f)
 	if err == nil {
 		m.Budget(budget, x.units, false)
 	}
@@ -257,7 +257,7 @@
 }
 
 // carry takes a word to whom it is for.
-func (w *world) carry(from *member, o fleet.Out) {
+func (w *world) carry(from *member, o coordination.Out) {
 	from.words++
 	if w.s.Size != nil {
 		from.bytes += w.s.Size(o.Word)
@@ -326,7 +326,7 @@
 	return false
 }
 
-func (w *world) arrive(from, to *member, word fleet.Word) {
+func (w *world) arrive(from, to *member, word coordination.Word) {
 	if !to.up || w.cut(from, to) {
 		return
 	}
--- a/internal/model/words.go
+++ b/internal/model/words.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 )
 
 // This file carries the words between instances.
@@ -23,7 +23,7 @@
 type word struct {
 	from, to *instance
 	life     uint32 // of the one that it is for
-	word     fleet.Word
+	word     coordination.Word
 }
 
 // join has an engine decide together with the others, where that is set.
@@ -44,7 +44,7 @@
 }
 
 // tellWord sends a word on its way. What is said while a process is stopped was said before: it goes out.
-func (in *instance) tellWord(to string, w fleet.Word) {
+func (in *instance) tellWord(to string, w coordination.Word) {
 	r := in.run
 	text, ok := strings.CutPrefix(to, "instance-")
 	n, err := strconv.Atoi(text)
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/lease"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
@@ -43,7 +43,7 @@
 		Members:  9,
 		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, Chance: 0.95}},
 	}
-	words := map[string]fleet.Word{
+	words := map[string]coordination.Word{
 		"lease-ask": {Lease: &lease.Word{Kind: lease.Ask, Life: term.Life, Number: 17}},
 		"lease-yes": {Lease: &lease.Word{Kind: lease.Yes, Life: term.Life, Number: 17}},
 		"lease-no": {Lease: &lease.Word{Kind: lease.No, Life: term.Life, Number: 17, Holder: "instance-2",
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,7 +19,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/settle"
 )
 
@@ -31,7 +31,7 @@
 	Join    []string          // addresses of some others
 	Via     map[string]string // where an address is reached from here, if not there
 	Log     *slog.Logger
-	Hear    func(from string, w fleet.Word) // is called with one word at a time; may wait
+	Hear    func(from string, w coordination.Word) // is called with one word at a time; may wait
 	// Settle is the same for words by which instances settle in which order machines go out; nil is that this one takes no part.
 	Settle func(from string, w settle.Word)
 }
@@ -61,16 +61,16 @@
 
 // envelope is a word as it is carried.
 type envelope struct {
-	From string     `cbor:"1,keyasint"`
-	To   string     `cbor:"2,keyasint"`
-	Word fleet.Word `cbor:"3,keyasint"`
+	From string            `cbor:"1,keyasint"`
+	To   string            `cbor:"2,keyasint"`
+	Word coordination.Word `cbor:"3,keyasint"`
 
 	Settle *settle.Word `cbor:"4,keyasint,omitempty"`
 }
 
 type outgoing struct {
 	to     string
-	word   fleet.Word
+	word   coordination.Word
 	settle *settle.Word
 }
 
@@ -95,7 +95,7 @@
 )
 
 // Encode returns the form of a word.
-func Encode(from, to string, w fleet.Word) ([]byte, error) {
+func Encode(from, to string, w coordination.Word) ([]byte, error) {
 	return encoding.Marshal(envelope{From: from, To: to, Word: w})
 }
 
@@ -148,7 +148,7 @@
 }
 
 // Tell sends a word to an instance by its name. It never waits; whether it comes is not known.
-func (p *Peers) Tell(to string, w fleet.Word) { p.put(outgoing{to: to, word: w}) }
+func (p *Peers) Tell(to string, w coordination.Word) { p.put(outgoing{to: to, word: w}) }
 
 // TellSettle is as Tell, with a word by which instances settle an order.
 func (p *Peers) TellSettle(to string, w settle.Word) { p.put(outgoing{to: to, settle: &w}) }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/decide/fleet"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/standin/port"
@@ -16,7 +16,7 @@
 
 type heard struct {
 	from string
-	word fleet.Word
+	word coordination.Word
 }
 
 // start starts an instance at an address of its own, with what it hears.
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	all := make(chan heard, 100)
-	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), Hear: func(from string, w fleet.Word) { all <- heard{from, w} }})
+	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), Hear: func(from string, w coordination.Word) { all <- heard{from, w} }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,12 +61,12 @@
 	defer b.Close(false)
 	defer c.Close(false)
 	until(t, "they do not find one another", func() bool { return alive(a, "b") && alive(b, "a") })
-	small := fleet.Word{Ask: &loans.Ask{Life: 1, Number: 2, Wants: []loans.Want{{Budget: "x", Asked: 1.5, Holds: 3}}}}
-	large := fleet.Word{Ask: small.Ask, Seen: &observations.Seen{}}
+	small := coordination.Word{Ask: &loans.Ask{Life: 1, Number: 2, Wants: []loans.Want{{Budget: "x", Asked: 1.5, Holds: 3}}}}
+	large := coordination.Word{Ask: small.Ask, Seen: &observations.Seen{}}
 	for i := range 200 {
 		large.Seen.Counts = append(large.Seen.Counts, observations.Count{Endpoint: fmt.Sprint("endpoint-", i), OK: float64(i)})
 	}
-	for _, w := range []fleet.Word{small, large} {
+	for _, w := range []coordination.Word{small, large} {
 		b.Tell("a", w)
 		select {
 		case h := <-hears:
