Rename package decide/limit to decide/concurrency

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/limit"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/route"
@@ -447,7 +447,7 @@
 	r := &c.Requests
 	s := engine.Sharing{Slots: r.InFlight, Open: r.Open}
 	if r.InFlight == 0 {
-		s.Adaptive = &limit.Settings{Least: r.InFlightLeast, Most: r.InFlightMost, First: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
+		s.Adaptive = &concurrency.Settings{Least: r.InFlightLeast, Most: r.InFlightMost, First: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
 	}
 	return s
 }
--- a/internal/decide/limit/limit.go
+++ b/internal/decide/concurrency/limit.go
@@ -1,4 +1,4 @@
-// Package limit learns how many requests an instance may have in flight before they only wait for one another at
+// Package concurrency learns how many requests an instance may have in flight before they only wait for one another at
 // the endpoints. It knows how long requests took and how many were in flight when each went out; it knows nothing
 // of endpoints, clients or sockets. It is a deterministic state machine for one caller at a time.
 //
@@ -7,7 +7,7 @@
 // limit grows while fewer than a few wait, and shrinks while more do. What a request takes alone is measured while
 // few are in flight; where that never happens by itself, the limit is lowered for a moment now and then, as
 // Envoy's adaptive concurrency filter does for its minRTT.
-package limit
+package concurrency
 
 import (
 	"fmt"
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/concurrency/limit_test.go
@@ -1,4 +1,4 @@
-package limit
+package concurrency
 
 import (
 	"container/heap"
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -3,7 +3,7 @@
 // what was sent there and what came of it; it knows nothing of endpoints, which the balancer picks within the zone that
 // is open, nor of sockets. It is a deterministic state machine for one caller at a time.
 //
-// What a zone can do is not told by the number of its endpoints. It is learned as in package limit: how many requests of
+// What a zone can do is not told by the number of its endpoints. It is learned as in package concurrency: how many requests of
 // this instance may be in flight there before they only wait for one another. What is left of that is the zone's spare
 // room, of which others' traffic may take a stated part. Of the requests that compete for it those of more worth have
 // the more room to themselves (trunk reservation, as telephone exchanges have had it: Akinpelu, "The overload performance
@@ -15,7 +15,7 @@
 	"fmt"
 	"math"
 
-	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/concurrency"
 )
 
 // Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
@@ -139,7 +139,7 @@
 type zone struct {
 	state  State
 	ready  int // endpoints
-	limit  *limit.Limit
+	limit  *concurrency.Limit
 	flight int // attempts in flight, those of others' traffic included
 	guests int // of these, others' traffic
 
@@ -184,7 +184,7 @@
 	}
 	for i := range t.zones {
 		z := &t.zones[i]
-		l, err := limit.New(limit.Settings{Classes: len(s.Classes), Least: s.Least, Most: s.Most, First: min(s.Most, max(s.Least, firstOfAll/s.Instances)),
+		l, err := concurrency.New(concurrency.Settings{Classes: len(s.Classes), Least: s.Least, Most: s.Most, First: min(s.Most, max(s.Least, firstOfAll/s.Instances)),
 			Seed: s.Seed + uint64(i), Grow: 1.0 / 16, Shrink: 1.0 / 8}) // what is spare must hardly wait
 		if err != nil {
 			return nil, err
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/shares"
 )
 
@@ -29,9 +29,9 @@
 
 // Sharing says how many requests may go on together.
 type Sharing struct {
-	Slots    int             // in flight at once in each pool; 0 is no bound. With Adaptive it is not used
-	Open     int             // in flight and waiting, in all pools together; 0 is no bound
-	Adaptive *limit.Settings // learns how many may be in flight in each pool; its Classes are filled in
+	Slots    int                   // in flight at once in each pool; 0 is no bound. With Adaptive it is not used
+	Open     int                   // in flight and waiting, in all pools together; 0 is no bound
+	Adaptive *concurrency.Settings // learns how many may be in flight in each pool; its Classes are filled in
 }
 
 // share makes the decisions between clients.
@@ -44,7 +44,7 @@
 		l := *s.Adaptive
 		l.Classes, l.Seed = len(expect), seed
 		var err error
-		if p.limit, err = limit.New(l); err != nil {
+		if p.limit, err = concurrency.New(l); err != nil {
 			return err
 		}
 		s.Slots = p.limit.Value()
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/limit"
+	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
@@ -39,8 +39,8 @@
 	balancer *balancer.Balancer
 
 	shares  *shares.Scheduler
-	limit   *limit.Limit // nil where the number in flight is not learned
-	wake    *alarm       // for shares
+	limit   *concurrency.Limit // nil where the number in flight is not learned
+	wake    *alarm             // for shares
 	wakeAt  Micros
 	touched bool
 	source  string
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -12,8 +12,8 @@
 	"testing"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/limit"
 	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/shares"
@@ -140,7 +140,7 @@
 	s := tenantSite(10, 1, 0)
 	s.Settings.Fields = []balancer.Field{balancer.FieldInflight, balancer.FieldServed, balancer.FieldUtil}
 	s.Settings.Contract.RampTime = 20 * second
-	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &limit.Settings{Least: 1, Most: 200, First: 20}}})
+	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &concurrency.Settings{Least: 1, Most: 200, First: 20}}})
 	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
 	err := x.Join(Together{Uses: uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 },
 		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -20,7 +20,7 @@
 
 // Constant is a constant of the decisions that is to have another value.
 type Constant struct {
-	Package string // its folder in the module, as "balancer" or "internal/decide/limit"
+	Package string // its folder in the module, as "balancer" or "internal/decide/concurrency"
 	Name    string
 	Value   string // an expression of Go
 }
--- a/internal/lab/size_test.go
+++ b/internal/lab/size_test.go
@@ -16,7 +16,7 @@
 func TestConstants(t *testing.T) {
 	root := "../.."
 	files := map[string][]byte{}
-	for _, text := range []string{"balancer.kMost=1.3", "balancer.window = 30 * second", "internal/decide/limit.shrinkPart=1.0 / 3"} {
+	for _, text := range []string{"balancer.kMost=1.3", "balancer.window = 30 * second", "internal/decide/concurrency.shrinkPart=1.0 / 3"} {
 		c, err := ParseConstant(text)
 		if err == nil {
 			err = c.change(root, files)
