Rename package decide/loans to decide/quota

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,8 +18,8 @@
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
@@ -345,7 +345,7 @@
 	if !p.On {
 		return nil
 	}
-	t := &engine.Together{Fleet: coordination.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: loans.Settings{
+	t := &engine.Together{Fleet: coordination.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: quota.Settings{
 		Most: c.Fleet.Instances, Ready: p.Ready, Length: p.Loan.Micros(), Every: p.Every.Micros(), Drift: p.Drift}}}
 	for _, name := range p.Lends {
 		uses[name](&t.Uses)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,7 +15,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/cordon"
-	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/engine"
@@ -332,7 +332,7 @@
 
 // GiveFleet ends the core's part in its fleet: it spends nothing any more, and the others need not wait until its time is up. It
 // returns what who takes the core's place has to know; nil where there is no fleet. BeginFleet goes on where nobody does.
-func (x *Core) GiveFleet() *loans.State { return ask(x, x.engine.GiveFleet) }
+func (x *Core) GiveFleet() *quota.State { return ask(x, x.engine.GiveFleet) }
 
 // FleetView returns what is known of the fleet; no where there is none.
 func (x *Core) FleetView(ctx context.Context) (v coordination.View, yes bool, err error) {
--- a/internal/decide/coordination/fleet.go
+++ b/internal/decide/coordination/fleet.go
@@ -1,5 +1,5 @@
 // Package coordination is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
-// the fleet's one lease (package lease), what each may spend of the fleet's budgets (package loans) and what all have seen
+// the fleet's one lease (package lease), what each may spend of the fleet's budgets (package quota) and what all have seen
 // (package observations). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
 // it for loans once in a while, and tell it with that what they have seen. Nothing waits for any of it: whoever is not answered
 // goes on with what it holds, and then with its least. It is a deterministic state machine for one caller at a time: no I/O, no
@@ -11,9 +11,9 @@
 	"slices"
 
 	"dunlinsail/internal/decide/lease"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/quota"
 )
 
 // Micros is an instant or a duration in microseconds, by the own clock, which never runs backwards and does not stand still
@@ -24,7 +24,7 @@
 type Settings struct {
 	Self    string
 	Lenders []string // names; a majority of them decides who keeps the book
-	Loans   loans.Settings
+	Loans   quota.Settings
 	Lease   Micros // how long the one who keeps the book does, without a majority that says so anew
 	Seed    uint64
 }
@@ -32,9 +32,9 @@
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
 	Lease *lease.Word        `cbor:"Lease"`
-	Ask   *loans.Ask         `cbor:"Ask"`
+	Ask   *quota.Ask         `cbor:"Ask"`
 	Seen  *observations.Seen `cbor:"Seen"` // with Ask
-	Grant *loans.Grant       `cbor:"Grant"`
+	Grant *quota.Grant       `cbor:"Grant"`
 	All   *observations.All  `cbor:"All"` // with Grant
 }
 
@@ -48,9 +48,9 @@
 type Member struct {
 	s      Settings
 	rng    *rand.Rand
-	holder *loans.Holder
+	holder *quota.Holder
 	voter  *lease.Voter // nil for who is no lender
-	book   *loans.Book
+	book   *quota.Book
 	sum    *observations.Sum
 	joint  map[string]*overload.Joint // levels, by set of endpoints, while it keeps the book
 	all    observations.All           // that it comes to,
@@ -69,10 +69,10 @@
 func New(s Settings) (*Member, error) {
 	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: observations.NewSum(), joint: map[string]*overload.Joint{}}
 	var err error
-	if m.holder, err = loans.NewHolder(s.Loans); err != nil {
+	if m.holder, err = quota.NewHolder(s.Loans); err != nil {
 		return nil, err
 	}
-	if m.book, err = loans.NewBook(s.Loans); err != nil {
+	if m.book, err = quota.NewBook(s.Loans); err != nil {
 		return nil, err
 	}
 	_, err = lease.New(0, m.lease(1))
@@ -99,7 +99,7 @@
 }
 
 // Restore begins in another process's place, with what it had so long ago.
-func (m *Member) Restore(now, age Micros, life uint64, s *loans.State) {
+func (m *Member) Restore(now, age Micros, life uint64, s *quota.State) {
 	m.holder.Restore(now, age, s)
 	m.begin(now, life)
 }
@@ -116,7 +116,7 @@
 func (m *Member) Begun() bool { return m.holder.Begun() }
 
 // Give ends this process's part, for another that takes its place, and returns what that has to know.
-func (m *Member) Give(now Micros) *loans.State {
+func (m *Member) Give(now Micros) *quota.State {
 	s := m.holder.Give(now)
 	m.Leave(now)
 	return s
@@ -335,7 +335,7 @@
 	Shares   []Share      `json:"Shares"`
 	Members  int          `json:"Members"`  // whose words the book has
 	Learning Micros       `json:"Learning"` // keeping the book, until it lends anew; 0 is that it does
-	Loans    []loans.Loan `json:"Loans"`    // if it keeps the book
+	Loans    []quota.Loan `json:"Loans"`    // if it keeps the book
 }
 
 // Share is what an instance may spend of a budget.
--- a/internal/decide/loans/loans.go
+++ b/internal/decide/quota/loans.go
@@ -1,4 +1,4 @@
-// Package loans divides budgets among the instances of a fleet: so many units of something in any second, whole ones, over all
+// Package quota divides budgets among the instances of a fleet: so many units of something in any second, whole ones, over all
 // of them together. A holder is lent so many units of each budget for a time, and may spend that many in any second until the
 // loan ends by its own clock; a book, at whoever holds the one lease of the fleet (package lease), lends them. The sum spent
 // stays within the budget in every second, whatever is lost, late, doubled or out of order, whoever is killed, stopped, cut off
@@ -15,7 +15,7 @@
 // what holders show it that they hold, until all that the one before can have lent is over; and it hears only questions that
 // were asked since it is the book (Ask.Term), so that what they show was not lent to others meanwhile. docs/design/peers.md
 // has it at length.
-package loans
+package quota
 
 import (
 	"fmt"
--- a/internal/decide/loans/loans_test.go
+++ b/internal/decide/quota/loans_test.go
@@ -1,4 +1,4 @@
-package loans
+package quota
 
 import (
 	"testing"
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -7,7 +7,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
-	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/shares"
 )
 
@@ -18,7 +18,7 @@
 	Pools []PoolSnapshot `json:"Pools"`
 	Words []cordon.Word  `json:"Words"` // on endpoints by hand
 
-	Fleet *loans.State `json:"Fleet,omitempty"` // what GiveFleet returned; nil is nothing
+	Fleet *quota.State `json:"Fleet,omitempty"` // what GiveFleet returned; nil is nothing
 	Order *Orders      `json:"Order,omitempty"` // what is obeyed of machines out, with times from the snapshot's instant on; nil is nothing
 }
 
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -14,8 +14,8 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/shares"
 )
 
@@ -144,7 +144,7 @@
 	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
 	err := x.Join(Together{Uses: uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 },
 		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
-			Loans: loans.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
+			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -7,8 +7,8 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
+	"dunlinsail/internal/decide/quota"
 )
 
 // Together is what an engine needs to decide with the other instances of its fleet.
@@ -71,7 +71,7 @@
 	if !slices.ContainsFunc(x.config.Site.Limits, func(v float64) bool { return v > 0 }) {
 		return
 	}
-	err := x.Join(Together{Fleet: coordination.Settings{Loans: loans.Settings{Most: max(1, s.Balancers), Place: s.Position, Ready: 1, Every: second, Length: 4 * second}},
+	err := x.Join(Together{Fleet: coordination.Settings{Loans: quota.Settings{Most: max(1, s.Balancers), Place: s.Position, Ready: 1, Every: second, Length: 4 * second}},
 		Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 1 }})
 	if err != nil {
 		panic(err) // of our own settings
@@ -99,7 +99,7 @@
 }
 
 // GiveFleet leaves the engine's part in its fleet to one that takes its place, and returns what that has to know; nil is nothing.
-func (x *Engine) GiveFleet(now Micros) *loans.State {
+func (x *Engine) GiveFleet(now Micros) *quota.State {
 	t := x.together
 	if t == nil || !t.member.Begun() {
 		return nil
@@ -111,7 +111,7 @@
 }
 
 // RestoreFleet takes the place of another engine that left off so long ago.
-func (x *Engine) RestoreFleet(now, age Micros, s *loans.State) {
+func (x *Engine) RestoreFleet(now, age Micros, s *quota.State) {
 	if t := x.together; t != nil && s != nil && !t.member.Begun() {
 		x.now = now
 		t.member.Restore(now, age, t.Lives(), s)
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -7,9 +7,9 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/site"
 )
@@ -48,7 +48,7 @@
 	x := New(Config{Site: s, Seed: 1, Host: h, Sharing: Sharing{Open: 1000}})
 	if uses != nil {
 		err := x.Join(Together{Uses: *uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 }, Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
-			Loans: loans.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
+			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/model/talk/talk.go
+++ b/internal/model/talk/talk.go
@@ -12,7 +12,7 @@
 	"slices"
 
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
+	"dunlinsail/internal/decide/quota"
 )
 
 // Micros is an instant or a duration of true time in microseconds; a run begins at 0.
@@ -36,7 +36,7 @@
 
 // Shipped are the settings that hold where operators say no more (package config).
 func Shipped() coordination.Settings {
-	return coordination.Settings{Lease: second, Loans: loans.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
+	return coordination.Settings{Lease: second, Loans: quota.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
 }
 
 // Fault is something that goes wrong.
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -11,8 +11,8 @@
 
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/lease"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/settle"
 )
 
@@ -22,10 +22,10 @@
 // goldenEnvelopes returns one message of each type, with the file that holds its encoded form.
 func goldenEnvelopes() map[string]envelope {
 	term := lease.Term{Holder: "instance-1", Life: 0xfedcba9876543210, Number: 17}
-	ask := &loans.Ask{
+	ask := &quota.Ask{
 		Life: 0x0123456789abcdef, Number: 23, Term: term, Of: 5,
 		OfTerm: lease.Term{Holder: "instance-0", Life: 3, Number: 2},
-		Wants: []loans.Want{
+		Wants: []quota.Want{
 			{Budget: "further", Asked: 12.5, Used: 7.25, Holds: 40, Earns: 3.1},
 			{Budget: "tenant/one", Asked: 100, Used: 1e6, Holds: 1, Earns: 0.5},
 		},
@@ -34,9 +34,9 @@
 		Levels: []observations.Level{{Of: "pool", Level: 0.75, Load: 0.3, Asked: 120, Vain: 13}},
 		Counts: []observations.Count{{Endpoint: "pool/s-1", Class: 2, OK: 13.37, Failed: 4.5}},
 	}
-	grant := &loans.Grant{
+	grant := &quota.Grant{
 		Life: 0x0123456789abcdef, Number: 23, Term: term, Serial: 6, Length: 2_000_000,
-		Shares: []loans.Share{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
+		Shares: []quota.Share{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
 	}
 	all := &observations.All{
 		Levels:   []observations.Level{{Of: "pool", Level: 0.5, Load: 0.25, Asked: 1200, Vain: 130}},
@@ -50,9 +50,9 @@
 			Left: 1_234_567}},
 		"lease-drop":       {Lease: &lease.Word{Kind: lease.Drop, Life: term.Life, Number: 17}},
 		"quota-ask":        {Ask: ask, Seen: seen},
-		"quota-ask-empty":  {Ask: &loans.Ask{Life: 1, Number: 1}},
+		"quota-ask-empty":  {Ask: &quota.Ask{Life: 1, Number: 1}},
 		"quota-grant":      {Grant: grant, All: all},
-		"quota-grant-none": {Grant: &loans.Grant{Life: 1, Number: 1, Term: term}},
+		"quota-grant-none": {Grant: &quota.Grant{Life: 1, Number: 1, Term: term}},
 		"all-parts": {Lease: &lease.Word{Kind: lease.No, Life: 1, Number: 2, Holder: "a", Left: 3}, Ask: ask, Seen: seen,
 			Grant: grant, All: all},
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/loans"
 	"dunlinsail/internal/decide/observations"
+	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -61,7 +61,7 @@
 	defer b.Close(false)
 	defer c.Close(false)
 	until(t, "they do not find one another", func() bool { return alive(a, "b") && alive(b, "a") })
-	small := coordination.Word{Ask: &loans.Ask{Life: 1, Number: 2, Wants: []loans.Want{{Budget: "x", Asked: 1.5, Holds: 3}}}}
+	small := coordination.Word{Ask: &quota.Ask{Life: 1, Number: 2, Wants: []quota.Want{{Budget: "x", Asked: 1.5, Holds: 3}}}}
 	large := coordination.Word{Ask: small.Ask, Seen: &observations.Seen{}}
 	for i := range 200 {
 		large.Seen.Counts = append(large.Seen.Counts, observations.Count{Endpoint: fmt.Sprint("endpoint-", i), OK: float64(i)})
