Rename package decide/shares to decide/fairqueue

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -16,7 +16,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/membership"
@@ -88,7 +88,7 @@
 		if in.pool, err = in.core.NewPool(c); err != nil {
 			return Result{}, err
 		}
-		if in.client, err = engine.NewClient(shares.Spec{Name: "c", Weight: 1}); err != nil {
+		if in.client, err = engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1}); err != nil {
 			return Result{}, err
 		}
 		all.Go(func() { in.core.Run(beside) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,10 +18,10 @@
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/route"
-	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/engine"
@@ -176,8 +176,8 @@
 }
 
 // Share returns the bounds as the decisions between clients take them.
-func (b *Bounds) Share(name string) shares.Spec {
-	s := shares.Spec{Name: name, Weight: b.Weight, Open: b.Open, Rate: b.Rate, Burst: b.Burst}
+func (b *Bounds) Share(name string) fairqueue.Spec {
+	s := fairqueue.Spec{Name: name, Weight: b.Weight, Open: b.Open, Rate: b.Rate, Burst: b.Burst}
 	if s.Rate > 0 && s.Burst == 0 {
 		s.Burst = max(1, s.Rate/10)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,8 +15,8 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/site"
@@ -205,7 +205,7 @@
 
 // ChangeClient gives a client another spec, or returns the error of one that makes no sense; what it has open stays
 // open.
-func (x *Core) ChangeClient(c *engine.Client, s shares.Spec) error {
+func (x *Core) ChangeClient(c *engine.Client, s fairqueue.Spec) error {
 	if err := s.Validate(); err != nil {
 		return err
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,7 +8,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/site"
 	"dunlinsail/internal/standin/peer"
@@ -123,7 +123,7 @@
 	x := p.core
 	release := make(chan struct{})
 	in := balancer.Request{Deadline: x.config.Clock.Now() + 1_000_000}
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -176,7 +176,7 @@
 	first, u := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := first.core
 	second := pool(t, x, "second", engine.Member{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -220,7 +220,7 @@
 func TestBegunAnswer(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1, Open: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1, Open: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -264,7 +264,7 @@
 func TestLeaveAsTheAnswerBegins(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -289,7 +289,7 @@
 func TestSpentRequest(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}, engine.Member{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -316,7 +316,7 @@
 func TestSendingEndsBeforeTheNext(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(shares.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/decide/shares/shares.go
+++ b/internal/decide/fairqueue/shares.go
@@ -1,4 +1,4 @@
-// Package shares decides between the clients of one instance: whose request goes on now, whose waits, and whose
+// Package fairqueue decides between the clients of one instance: whose request goes on now, whose waits, and whose
 // is turned away. It knows clients with weights and bounds, and how many requests may be in flight at once: a
 // Scheduler stands for one set of endpoints, and several may share their clients. It knows nothing of endpoints, which the balancer picks afterwards, nor of sockets. It is a deterministic state
 // machine for one caller at a time: its host passes events with their instants, and takes the decisions that
@@ -10,7 +10,7 @@
 // each client has a tag in virtual time, the least tag goes first, and each request moves its client's tag on by
 // its cost over the client's weight. A cost is known only at the end: the mean of the class is charged at the
 // start, and the difference settled then. Nothing is ever held back while there is room for it.
-package shares
+package fairqueue
 
 import (
 	"container/heap"
--- a/internal/decide/shares/shares_test.go
+++ b/internal/decide/fairqueue/shares_test.go
@@ -1,4 +1,4 @@
-package shares
+package fairqueue
 
 import (
 	"container/heap"
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -2,19 +2,19 @@
 
 import (
 	"dunlinsail/internal/decide/concurrency"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 )
 
 // Client is whose requests are shared out together, and whose ids must differ while they are open. It belongs to its
 // engine.
 type Client struct {
-	account *shares.Client
+	account *fairqueue.Client
 	ids     map[string]*Call // owned by the engine
 }
 
 // NewClient returns a client, or the error of a spec that makes no sense.
-func NewClient(s shares.Spec) (*Client, error) {
-	account, err := shares.NewClient(s)
+func NewClient(s fairqueue.Spec) (*Client, error) {
+	account, err := fairqueue.NewClient(s)
 	if err != nil {
 		return nil, err
 	}
@@ -25,7 +25,7 @@
 func (c *Client) Open() int { return len(c.ids) }
 
 // Change gives a client another spec, or returns the error of one that makes no sense; what it has open stays open.
-func (c *Client) Change(s shares.Spec) error { return c.account.Change(s) }
+func (c *Client) Change(s fairqueue.Spec) error { return c.account.Change(s) }
 
 // Sharing says how many requests may go on together.
 type Sharing struct {
@@ -36,7 +36,7 @@
 
 // share makes the decisions between clients.
 func (p *Pool) share(s Sharing, seed uint64) error {
-	expect := make([]shares.Micros, len(p.engine.config.Site.Settings.Classes))
+	expect := make([]fairqueue.Micros, len(p.engine.config.Site.Settings.Classes))
 	for i, class := range p.engine.config.Site.Settings.Classes {
 		expect[i] = class.Aim / 5 // as the balancer's own first guess
 	}
@@ -49,7 +49,7 @@
 		}
 		s.Slots = p.limit.Value()
 	}
-	p.shares = shares.New(shares.Settings{Classes: expect, Slots: s.Slots, Total: p.engine.total})
+	p.shares = fairqueue.New(fairqueue.Settings{Classes: expect, Slots: s.Slots, Total: p.engine.total})
 	return nil
 }
 
@@ -63,7 +63,7 @@
 	if class.LateWorth == 0 {
 		until = min(until, c.Arrived+class.Aim)
 	}
-	p.shares.Offer(now, c.Client.account, shares.Request{ID: c.In.ID, Class: int(c.In.Class), Until: until, Patience: p.balancer.Patience(now, c.In)})
+	p.shares.Offer(now, c.Client.account, fairqueue.Request{ID: c.In.ID, Class: int(c.In.Class), Until: until, Patience: p.balancer.Patience(now, c.In)})
 	p.engine.touch(p)
 }
 
@@ -97,7 +97,7 @@
 			break
 		}
 		c := x.calls[d.ID]
-		if d.Verb == shares.TurnAway {
+		if d.Verb == fairqueue.TurnAway {
 			x.finish(c, x.turnedAway(d))
 			continue
 		}
@@ -118,9 +118,9 @@
 }
 
 // turnedAway is the answer to a request that is not admitted.
-func (x *Engine) turnedAway(d shares.Decision) Answer {
+func (x *Engine) turnedAway(d fairqueue.Decision) Answer {
 	a := Answer{Verdict: Refused, Reason: d.Reason.String()}
-	if d.Reason == shares.TooFast {
+	if d.Reason == fairqueue.TooFast {
 		a.Verdict = Limited
 	}
 	limits := &x.config.Site.Settings.Limits
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,7 +12,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/site"
 )
 
@@ -154,7 +154,7 @@
 // Engine decides. Make one with New, and give it pools.
 type Engine struct {
 	config Config
-	total  *shares.Total // of requests over all pools
+	total  *fairqueue.Total // of requests over all pools
 	rng    *rand.Rand
 
 	now      Micros  // the instant of the present event
@@ -172,7 +172,7 @@
 
 // New returns an engine without pools.
 func New(c Config) *Engine {
-	x := &Engine{config: c, total: &shares.Total{Most: c.Sharing.Open}, calls: map[uint64]*Call{},
+	x := &Engine{config: c, total: &fairqueue.Total{Most: c.Sharing.Open}, calls: map[uint64]*Call{},
 		rng: rand.New(rand.NewPCG(c.Seed, 1))}
 	x.alone()
 	return x
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -7,8 +7,8 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/concurrency"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
-	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/decide/subset"
 )
 
@@ -38,7 +38,7 @@
 	config   PoolConfig
 	balancer *balancer.Balancer
 
-	shares  *shares.Scheduler
+	shares  *fairqueue.Scheduler
 	limit   *concurrency.Limit // nil where the number in flight is not learned
 	wake    *alarm             // for shares
 	wakeAt  Micros
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -7,8 +7,8 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/decide/shares"
 )
 
 // Snapshot is what an engine holds that another which takes its place should know: of each pool the list and what was
@@ -51,9 +51,9 @@
 
 // ClassLearned is what is known of a class. Meaning tells whether another's class of this name is the same.
 type ClassLearned struct {
-	Name    string       `json:"Name"`
-	Meaning string       `json:"Meaning"`
-	Times   shares.Times `json:"Times"`
+	Name    string          `json:"Name"`
+	Meaning string          `json:"Meaning"`
+	Times   fairqueue.Times `json:"Times"`
 }
 
 // TenantLearned is a tenant of the settings.
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -14,9 +14,9 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/decide/shares"
 )
 
 // The files in testdata were written by the build of commit 870f4ac, before any stored name was written down as a tag. A process
@@ -175,7 +175,7 @@
 			p.Members(now, Told{Kind: balancer.ListDelta, Generation: 2,
 				Members: []Member{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, Started: now}}})
 		}
-		c, err := NewClient(shares.Spec{Weight: 1})
+		c, err := NewClient(fairqueue.Spec{Weight: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/site"
 )
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	h.p.Begin(1_000 * second)
-	c, err := NewClient(shares.Spec{Name: "c", Weight: 1})
+	c, err := NewClient(fairqueue.Spec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -7,10 +7,10 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/site"
 )
 
@@ -77,7 +77,7 @@
 
 func submit(t testing.TB, x *Engine, p *Pool, now Micros, id string, tenant uint16) {
 	t.Helper()
-	c, err := NewClient(shares.Spec{Weight: 1})
+	c, err := NewClient(fairqueue.Spec{Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,7 +165,7 @@
 	count := func(class uint8) (part float64) {
 		all, there := 0, 0
 		for i := range 300 {
-			c, _ := NewClient(shares.Spec{Weight: 1})
+			c, _ := NewClient(fairqueue.Spec{Weight: 1})
 			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(class, i), Arrived: now, In: balancer.Request{Class: class, Tenant: 1, Deadline: now + 500_000}})
 			n, e1 := h.served(x, now+20_000)
 			all, there = all+n, there+e1
--- a/internal/front/http1/conns.go
+++ b/internal/front/http1/conns.go
@@ -17,7 +17,7 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/connlimit"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/engine"
 )
 
@@ -30,7 +30,7 @@
 
 // Spec is what a client may do. A bound of 0 is no bound.
 type Spec struct {
-	shares.Spec
+	fairqueue.Spec
 	Connections int
 	Bytes       int64 // that its requests and their answers may hold
 }
--- a/internal/lab/variant.go
+++ b/internal/lab/variant.go
@@ -14,7 +14,7 @@
 
 	"dunlinsail/deploy"
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/shares"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
@@ -169,7 +169,7 @@
 
 // settings returns what the model takes of a daemon's file.
 func settings(c *config.Config) *model.Settings {
-	s := &model.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: shares.Spec{Weight: 1},
+	s := &model.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: fairqueue.Spec{Weight: 1},
 		Subset: c.Fleet.Part(), Overload: c.Overload.Decides(c.Fleet.Instances), Together: c.Together(0)}
 	if len(c.Clients) > 0 {
 		s.Client = c.Clients[0].Share(c.Clients[0].Name)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,8 +18,8 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
-	"dunlinsail/internal/decide/shares"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/events"
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.client, err = s.front.NewClient(http1.Spec{Spec: shares.Spec{Name: c.Name, Weight: 1}})
+	s.client, err = s.front.NewClient(http1.Spec{Spec: fairqueue.Spec{Name: c.Name, Weight: 1}})
 	return s, err
 }
 
