Rename package decide/trial to decide/canary

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/trial"
+	"dunlinsail/internal/decide/canary"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/front/http1"
 )
@@ -14,7 +14,7 @@
 type tally struct {
 	mu     sync.Mutex
 	judges []balancer.Class // by the places of the generation's classes
-	s      trial.Sample
+	s      canary.Sample
 }
 
 // by says by which classes is judged from now on: those of the same name, else the generation's own.
@@ -59,10 +59,10 @@
 }
 
 // take returns what came since the last time.
-func (t *tally) take() trial.Sample {
+func (t *tally) take() canary.Sample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.s
-	t.s = trial.Sample{}
+	t.s = canary.Sample{}
 	return s
 }
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -14,7 +14,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/control"
-	"dunlinsail/internal/decide/trial"
+	"dunlinsail/internal/decide/canary"
 	"dunlinsail/internal/decide/versions"
 	"dunlinsail/internal/kept"
 )
@@ -37,10 +37,10 @@
 	unfollow  context.CancelFunc // ends that
 	following sync.WaitGroup
 
-	trial  *trial.Trial   // nil while none is under way
-	tried  []trial.Sample // in it
-	before []trial.Sample // what it is held against: the last of what was good
-	last   time.Time      // when the last sample ended
+	trial  *canary.Trial   // nil while none is under way
+	tried  []canary.Sample // in it
+	before []canary.Sample // what it is held against: the last of what was good
+	last   time.Time       // when the last sample ended
 }
 
 const (
@@ -450,10 +450,10 @@
 // try begins a trial of what runs now against what was good until then.
 func (p *process) try() {
 	c := &p.control
-	s := trial.Settings{Length: c.Trial.Micros(), Margin: c.Margin, Alpha: c.Alpha, Extend: trialRush}
+	s := canary.Settings{Length: c.Trial.Micros(), Margin: c.Margin, Alpha: c.Alpha, Extend: trialRush}
 	s.Least = min(s.Length/4, 5_000_000)
 	var err error
-	if p.trial, err = trial.New(s, p.before...); err != nil {
+	if p.trial, err = canary.New(s, p.before...); err != nil {
 		p.log.Error("no trial", "error", err) // config has checked what it needs
 		p.do(p.machine.Judged(now(), ""))
 		return
@@ -487,8 +487,8 @@
 	}
 	p.tried = append(p.tried, s)
 	switch verdict, figures := p.trial.Try(s); verdict {
-	case trial.Going:
-	case trial.Worse:
+	case canary.Going:
+	case canary.Worse:
 		p.trial = nil
 		p.do(p.machine.Judged(now(), fmt.Sprintf("worse by %s: %s", figures.By, figures.Text())))
 	default:
--- a/internal/decide/trial/trial.go
+++ b/internal/decide/canary/trial.go
@@ -1,4 +1,4 @@
-// Package trial decides whether what is being tried does worse than what it is held against: a version of the configuration
+// Package canary decides whether what is being tried does worse than what it is held against: a version of the configuration
 // against the one before it, or a new pool against the old one beside it. It knows samples of service and of failures in
 // short slots of time, and nothing of what is tried; it is free of I/O, and reads no clock.
 //
@@ -8,7 +8,7 @@
 // the difference of two ratios. Their variance is that of their slots, so that bursts count as the noise that they are; where
 // bad moments come in spells of several slots, as much larger as it is over longer stretches (batch means: Law, "Simulation
 // Modeling and Analysis", section 9.5.3); and no less than that of as many independent requests.
-package trial
+package canary
 
 import (
 	"fmt"
--- a/internal/decide/trial/trial_test.go
+++ b/internal/decide/canary/trial_test.go
@@ -1,4 +1,4 @@
-package trial
+package canary
 
 import (
 	"math"
