--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/kept"
 )
 
@@ -27,7 +27,7 @@
 type known struct {
 	file *config.Config
 	dir  *kept.Dir
-	kept *versions.Kept // never nil
+	kept *rollout.Kept // never nil
 }
 
 func (f *fileFlag) known() (*known, error) {
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &known{file: c, kept: &versions.Kept{}}
+	k := &known{file: c, kept: &rollout.Kept{}}
 	if c.Control.State == "" {
 		return k, nil
 	}
@@ -61,7 +61,7 @@
 // resources returns those of a version that is meant by a word: "good", "before", "file", its number as it is listed, or a
 // file of resources in JSON.
 func (k *known) resources(word string) ([]config.Resource, error) {
-	of := func(p *versions.Pair) ([]config.Resource, error) {
+	of := func(p *rollout.Pair) ([]config.Resource, error) {
 		if p == nil || p.Service == nil {
 			return config.Resources(k.file)
 		}
@@ -79,7 +79,7 @@
 	case "file":
 		return config.Resources(k.file)
 	}
-	for _, p := range []*versions.Pair{k.kept.Good, k.kept.Before} {
+	for _, p := range []*rollout.Pair{k.kept.Good, k.kept.Before} {
 		if p != nil && p.Service != nil && p.Service.ID.String() == word {
 			return of(p)
 		}
@@ -110,7 +110,7 @@
 		return err
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	pair := func(word string, p *versions.Pair) {
+	pair := func(word string, p *rollout.Pair) {
 		if p != nil {
 			digest := p.File.Digest
 			if p.Service != nil {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -32,7 +32,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 )
 
 // Options are what a Client needs.
@@ -40,7 +40,7 @@
 	Control config.Control
 	Name    string // of the instance, where Control.Node is empty
 	Zone    string
-	Running *versions.ID // the version of the service's that runs, nil for none
+	Running *rollout.ID // the version of the service's that runs, nil for none
 	Log     *slog.Logger
 
 	// Offer is called for each version that comes, on the client's goroutine; it may wait, and nothing more is read
@@ -231,7 +231,7 @@
 }
 
 // Ack tells the service that a version is applied, and whether for good or on trial.
-func (c *Client) Ack(id versions.ID, final bool) {
+func (c *Client) Ack(id rollout.ID, final bool) {
 	state := "trial"
 	if final {
 		state = "good"
@@ -247,7 +247,7 @@
 }
 
 // Nack tells the service that a version is refused, or gone back from, and which one runs, nil for none of its own.
-func (c *Client) Nack(id versions.ID, reason string, running *versions.ID) {
+func (c *Client) Nack(id rollout.ID, reason string, running *rollout.ID) {
 	c.mu.Lock()
 	c.running = ""
 	if running != nil {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -27,7 +27,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/control"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/steward"
 	"dunlinsail/internal/strict"
@@ -52,7 +52,7 @@
 	return config.Control{Address: addr, Plaintext: true, SizeMost: strict.Size{Bytes: 1 << 20}, RetryMost: strict.Duration{Duration: 100 * time.Millisecond}}
 }
 
-func follow(t *testing.T, c config.Control, running *versions.ID) *following {
+func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
 	t.Helper()
 	f := &following{}
 	client, err := control.New(control.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: peer.Quiet, Offer: func(u control.Update) {
@@ -97,16 +97,16 @@
 	if err := s.Set("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
 		t.Fatal(err)
 	}
-	f := follow(t, settings(s.Addr), &versions.ID{Epoch: "e", Number: 6})
+	f := follow(t, settings(s.Addr), &rollout.ID{Epoch: "e", Number: 6})
 	peer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
 	u := f.updates()[0]
-	if u.Wrong != "" || u.Version.ID != (versions.ID{Source: versions.Service, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
+	if u.Wrong != "" || u.Version.ID != (rollout.ID{Source: rollout.Service, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
 		u.Resources[0].Name != "look" || u.Resources[0].Fields["worth"] != 2.0 || u.Resources[0].Fields["name"] != nil || u.Version.Digest != config.Digest(u.Resources) {
 		t.Errorf("%+v", u)
 	}
 	f.Ack(u.Version.ID, false)
 	f.Ack(u.Version.ID, true)
-	f.Nack(u.Version.ID, "it did harm", &versions.ID{Epoch: "e", Number: 6})
+	f.Nack(u.Version.ID, "it did harm", &rollout.ID{Epoch: "e", Number: 6})
 	peer.Eventually(t, "the answers", func() bool { return len(s.Words()) == 4 })
 	w := s.Words()
 	if w[0].Running != "e/6" || w[0].Node != "i-1" || w[0].Nonce != "" {
@@ -221,7 +221,7 @@
 		peer.Eventually(t, "the cut", func() bool { return s.Streams() == 0 || f.has(n+1) })
 		s.CutAfter(-1)
 		peer.Eventually(t, "version "+info, func() bool { return f.has(n + 1) })
-		f.Ack(versions.ID{Number: uint64(n + 1)}, true)
+		f.Ack(rollout.ID{Number: uint64(n + 1)}, true)
 	}
 	for _, u := range f.updates() {
 		if u.Wrong != "" || len(u.Resources) != 2 {
@@ -230,12 +230,12 @@
 	}
 	// In the midst of an answer: what runs is said at the beginning of the next stream.
 	s.Drop()
-	f.Ack(versions.ID{Number: 8}, true)
+	f.Ack(rollout.ID{Number: 8}, true)
 	peer.Eventually(t, "what runs", func() bool { w := s.Words(); return w[len(w)-1].Running == "8" && w[len(w)-1].Nonce == "" })
 	// For long.
 	addr := s.Addr
 	s.Close()
-	f.Nack(versions.ID{Number: 8}, "late", nil)
+	f.Nack(rollout.ID{Number: 8}, "late", nil)
 	again := begin(t, steward.Options{Addr: addr})
 	if err := again.Set("9", all, nil); err != nil {
 		t.Fatal(err)
--- a/internal/control/decode.go
+++ b/internal/control/decode.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 )
 
 // TypeURL is the type of all resources: a table of the configuration without a type of its own in protobuf, as xDS has it
@@ -29,25 +29,25 @@
 const epochMost = 64
 
 // ParseVersion reads a version_info: "17", or "epoch/17" where numbers may begin anew.
-func ParseVersion(text string) (versions.ID, error) {
+func ParseVersion(text string) (rollout.ID, error) {
 	epoch, number := "", text
 	if i := strings.LastIndexByte(text, '/'); i >= 0 {
 		if epoch, number = text[:i], text[i+1:]; epoch == "" {
-			return versions.ID{}, fmt.Errorf("version_info %q: the epoch before / is empty", text)
+			return rollout.ID{}, fmt.Errorf("version_info %q: the epoch before / is empty", text)
 		}
 	}
 	n, err := strconv.ParseUint(number, 10, 64)
 	if err != nil || strconv.FormatUint(n, 10) != number {
-		return versions.ID{}, fmt.Errorf("version_info %q is neither NUMBER nor EPOCH/NUMBER", clip(text))
+		return rollout.ID{}, fmt.Errorf("version_info %q is neither NUMBER nor EPOCH/NUMBER", clip(text))
 	}
 	if len(epoch) > epochMost || strings.ContainsFunc(epoch, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return versions.ID{}, fmt.Errorf("version_info %q: an epoch is at most %d visible ASCII characters", clip(text), epochMost)
+		return rollout.ID{}, fmt.Errorf("version_info %q: an epoch is at most %d visible ASCII characters", clip(text), epochMost)
 	}
-	return versions.ID{Source: versions.Service, Epoch: epoch, Number: n}, nil
+	return rollout.ID{Source: rollout.Service, Epoch: epoch, Number: n}, nil
 }
 
 // VersionInfo is what ParseVersion reads.
-func VersionInfo(id versions.ID) string {
+func VersionInfo(id rollout.ID) string {
 	if id.Epoch == "" {
 		return strconv.FormatUint(id.Number, 10)
 	}
@@ -63,7 +63,7 @@
 
 // Update is a version as the service sent it.
 type Update struct {
-	Version   versions.Version
+	Version   rollout.Version
 	Resources []config.Resource
 	Wrong     string // why it cannot be read; Resources is nil then
 }
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Update{Version: versions.Version{ID: id}}
+	u := &Update{Version: rollout.Version{ID: id}}
 	if err := u.read(r); err != nil {
 		u.Wrong, u.Resources = err.Error(), nil
 		// What makes no sense has a digest, too: the same number may come with another content.
--- a/internal/control/golden_test.go
+++ b/internal/control/golden_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/encoding/prototext"
 	"google.golang.org/protobuf/proto"
 
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -99,7 +99,7 @@
 // version on trial, an ACK of a confirmed one, a NACK after a rollback, and a NACK of an unreadable version_info.
 func TestGoldenExchange(t *testing.T) {
 	server, address := startRecordingServer(t)
-	client := follow(t, settings(address), &versions.ID{Epoch: "e", Number: 6})
+	client := follow(t, settings(address), &rollout.ID{Epoch: "e", Number: 6})
 	var requests []*discovery.DiscoveryRequest
 	receive := func(what string) { requests = append(requests, peer.Within(t, server.requests, what)) }
 	receive("the first request")
@@ -119,7 +119,7 @@
 	receive("the ACK on trial")
 	client.Ack(update.Version.ID, true)
 	receive("the final ACK")
-	client.Nack(update.Version.ID, "it did harm", &versions.ID{Epoch: "e", Number: 6})
+	client.Nack(update.Version.ID, "it did harm", &rollout.ID{Epoch: "e", Number: 6})
 	receive("the NACK")
 	server.responses <- &discovery.DiscoveryResponse{VersionInfo: "seven", TypeUrl: response.TypeUrl, Nonce: "n-2"}
 	receive("the NACK of an unreadable version_info")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 )
 
 // acceptFor is how long a daemon that stops goes on accepting: clients that have just asked where it is still come.
@@ -33,7 +33,7 @@
 	// has changed; nil is nobody.
 	Serving func(addresses map[string]string)
 	// Told is called for each answer that a version of the configuration gets; nil is nobody.
-	Told func(versions.Step)
+	Told func(rollout.Step)
 }
 
 // Run serves until stop ends or another process has taken over, and returns once what was taken is answered.
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -15,16 +15,16 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/control"
 	"dunlinsail/internal/decide/canary"
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/kept"
 )
 
 // versioning is the part of a process that has to do with which configuration it runs: where versions come from, the machine
 // that decides between them, what is kept of them, and how the one on trial does. It belongs to the process's goroutine.
 type versioning struct {
-	machine *versions.Machine
-	first   *config.Config                                           // to begin with
-	done    func(now versions.Micros, reason string) []versions.Step // what the machine is told once what is applied is so
+	machine *rollout.Machine
+	first   *config.Config                                         // to begin with
+	done    func(now rollout.Micros, reason string) []rollout.Step // what the machine is told once what is applied is so
 
 	reads     uint64                       // of the file
 	files     map[string]*config.Config    // contents of the file, by digest: those that the machine may name
@@ -53,8 +53,8 @@
 const trialRush = 3
 
 // settings returns the machine's.
-func machineSettings(c *config.Control, seed uint64) versions.Settings {
-	s := versions.Settings{Trial: c.Tries(), Gap: clock.Micros(gapLeast), Seed: seed}
+func machineSettings(c *config.Control, seed uint64) rollout.Settings {
+	s := rollout.Settings{Trial: c.Tries(), Gap: clock.Micros(gapLeast), Seed: seed}
 	if c.Address != "" {
 		s.Gap = c.Gap.Micros()
 	}
@@ -67,8 +67,8 @@
 	p.files, p.resources, p.unfollow = map[string]*config.Config{}, map[string][]config.Resource{}, func() {}
 	file := p.o.Config
 	p.first = file
-	running := versions.Pair{File: p.fileVersion(file)}
-	var known versions.Kept
+	running := rollout.Pair{File: p.fileVersion(file)}
+	var known rollout.Kept
 	if c := &file.Control; c.State != "" {
 		var err error
 		if p.dir, err = kept.Open(c.State); err != nil {
@@ -89,16 +89,16 @@
 		// Whoever starts the process with another file means it.
 		known.Before, known.Good = known.Good, &running
 	}
-	p.machine = versions.New(machineSettings(&file.Control, p.o.Seed), running, known)
+	p.machine = rollout.New(machineSettings(&file.Control, p.o.Seed), running, known)
 }
 
 // same says whether two pairs have the same contents.
-func same(a, b *versions.Pair) bool {
+func same(a, b *rollout.Pair) bool {
 	return a.File.Digest == b.File.Digest && (a.Service == nil) == (b.Service == nil) && (a.Service == nil || *a.Service == *b.Service)
 }
 
 // load returns what was known when the process before this one ended, nil if nothing is kept.
-func (p *process) load() *versions.Kept {
+func (p *process) load() *rollout.Kept {
 	k, from, err := p.dir.Load()
 	if err != nil {
 		p.log.Error("what was kept of versions is not all sound", "from", from, "error", err)
@@ -106,7 +106,7 @@
 	if k == nil {
 		return nil
 	}
-	for _, pair := range []*versions.Pair{k.Good, k.Before} {
+	for _, pair := range []*rollout.Pair{k.Good, k.Before} {
 		if pair == nil {
 			continue
 		}
@@ -120,7 +120,7 @@
 }
 
 // recalled returns the configuration that a version comes to over a file, from what is kept.
-func (p *process) recalled(v *versions.Version, file *config.Config) (*config.Config, error) {
+func (p *process) recalled(v *rollout.Version, file *config.Config) (*config.Config, error) {
 	text, err := p.dir.Content(v.Digest)
 	if err != nil {
 		return nil, err
@@ -154,9 +154,9 @@
 }
 
 // fileVersion notes a content of the file, and returns its version.
-func (p *process) fileVersion(c *config.Config) versions.Version {
+func (p *process) fileVersion(c *config.Config) rollout.Version {
 	p.reads++
-	v := versions.Version{ID: versions.ID{Source: versions.File, Number: p.reads}, Digest: digest(c.Text)}
+	v := rollout.Version{ID: rollout.ID{Source: rollout.File, Number: p.reads}, Digest: digest(c.Text)}
 	p.files[v.Digest] = c
 	return v
 }
@@ -192,9 +192,9 @@
 }
 
 // service returns which of the service's versions runs, or will in a moment; nil for none.
-func (p *process) service() *versions.ID {
+func (p *process) service() *rollout.ID {
 	pair, _ := p.machine.Running()
-	if phase, _ := p.machine.Phase(); phase == versions.GoingBack {
+	if phase, _ := p.machine.Phase(); phase == rollout.GoingBack {
 		pair = *p.machine.Kept().Good
 	}
 	if pair.Service == nil {
@@ -219,27 +219,27 @@
 // ---- What the machine wants ------------------------------------------------------
 
 // do carries out what the machine wants.
-func (p *process) do(steps []versions.Step) {
+func (p *process) do(steps []rollout.Step) {
 	for _, s := range steps {
 		switch s.Action {
-		case versions.Check:
+		case rollout.Check:
 			p.do(p.machine.Checked(now(), p.check(&s)))
-		case versions.Apply, versions.Back:
+		case rollout.Apply, rollout.Back:
 			p.apply(&s)
-		case versions.Try:
+		case rollout.Try:
 			p.try()
-		case versions.EndTry:
+		case rollout.EndTry:
 			p.trial = nil
-		case versions.Save:
+		case rollout.Save:
 			p.save()
-		case versions.Ack, versions.Nack:
+		case rollout.Ack, rollout.Nack:
 			p.answer(&s)
 		}
 	}
 }
 
 // config returns what a pair of versions comes to.
-func (p *process) config(pair versions.Pair) (*config.Config, error) {
+func (p *process) config(pair rollout.Pair) (*config.Config, error) {
 	file := p.files[pair.File.Digest]
 	if file == nil {
 		return nil, fmt.Errorf("the content of %v is not held any more", pair.File.ID)
@@ -255,7 +255,7 @@
 }
 
 // check says why a version cannot be applied, "" if it can.
-func (p *process) check(s *versions.Step) string {
+func (p *process) check(s *rollout.Step) string {
 	if _, err := p.config(s.Pair); err != nil {
 		return err.Error()
 	}
@@ -263,9 +263,9 @@
 }
 
 // apply begins to apply what the machine wants applied, or gone back to.
-func (p *process) apply(s *versions.Step) {
+func (p *process) apply(s *rollout.Step) {
 	p.done = p.machine.Applied
-	if s.Action == versions.Back {
+	if s.Action == rollout.Back {
 		p.done = p.machine.WentBack
 	}
 	c, err := p.config(s.Pair)
@@ -325,18 +325,18 @@
 }
 
 // answer tells the source of a version what became of it.
-func (p *process) answer(s *versions.Step) {
+func (p *process) answer(s *rollout.Step) {
 	id := s.Version.ID.String()
 	switch {
-	case s.Action == versions.Nack:
+	case s.Action == rollout.Nack:
 		p.log.Error("configuration refused, the one before it is kept", "version", id, "reason", s.Reason)
 	case s.Final:
 		p.log.Info("configuration applied", "version", id)
 	default:
 		p.log.Info("configuration applied, on trial", "version", id, "for", p.control.Trial.Duration)
 	}
-	if s.Version.Source == versions.Service && p.client != nil {
-		if s.Action == versions.Nack {
+	if s.Version.Source == rollout.Service && p.client != nil {
+		if s.Action == rollout.Nack {
 			p.client.Nack(s.Version.ID, s.Reason, p.service())
 		} else {
 			p.client.Ack(s.Version.ID, s.Final)
@@ -376,12 +376,12 @@
 }
 
 // toKeep returns a copy of what is known, and the contents that it names.
-func (p *process) toKeep() (*versions.Kept, map[string][]byte, error) {
+func (p *process) toKeep() (*rollout.Kept, map[string][]byte, error) {
 	text, err := json.Marshal(p.machine.Kept())
 	if err != nil {
 		return nil, nil, err
 	}
-	k := &versions.Kept{}
+	k := &rollout.Kept{}
 	if err := json.Unmarshal(text, k); err != nil {
 		return nil, nil, err
 	}
@@ -400,20 +400,20 @@
 // forget lets contents go that nothing names any more.
 func (p *process) forget() {
 	keep := map[string]bool{}
-	note := func(v *versions.Version) {
+	note := func(v *rollout.Version) {
 		if v != nil {
 			keep[v.Digest] = true
 		}
 	}
 	running, _ := p.machine.Running()
-	for _, pair := range []*versions.Pair{&running, p.machine.Kept().Good, p.machine.Kept().Before} {
+	for _, pair := range []*rollout.Pair{&running, p.machine.Kept().Good, p.machine.Kept().Before} {
 		if pair != nil {
 			note(&pair.File)
 			note(pair.Service)
 		}
 	}
-	note(p.machine.Waiting(versions.File))
-	note(p.machine.Waiting(versions.Service))
+	note(p.machine.Waiting(rollout.File))
+	note(p.machine.Waiting(rollout.Service))
 	_, work := p.machine.Phase()
 	note(work)
 	for d := range p.files {
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/rollout/versions.go
@@ -1,4 +1,4 @@
-// Package versions decides which version of the configuration an instance runs: which of those that a control service or the
+// Package rollout decides which version of the configuration an instance runs: which of those that a control service or the
 // local file offers is checked and applied, refused, or gone back from. It is a deterministic state machine for one caller at
 // a time: events with instants go in, steps come out, in order, for its host to carry out. It knows names and digests of
 // versions, and nothing of what is in them; it does no I/O.
@@ -15,7 +15,7 @@
 // A version applies whole or not at all, and never after a newer one, unless the service says that it is to be gone back to.
 // A number stands for one content: another with the same number is refused. Numbers may begin anew in another epoch (the
 // service lost what it knew); an epoch that was left is not gone back to.
-package versions
+package rollout
 
 import (
 	"fmt"
--- a/internal/decide/versions/versions_test.go
+++ b/internal/decide/rollout/versions_test.go
@@ -1,4 +1,4 @@
-package versions
+package rollout
 
 import (
 	"encoding/json"
--- a/internal/kept/golden_test.go
+++ b/internal/kept/golden_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 )
 
 // Digests of the contents in testdata/golden.
@@ -19,37 +19,37 @@
 	goldenSecond = "8abc261d8cadcccd2d253679c5ea720c88aa015d267915b778bd5a1736ce6f9f"
 )
 
-func fileVersion(number uint64) versions.Version {
-	return versions.Version{ID: versions.ID{Source: versions.File, Number: number}, Digest: goldenFile}
+func fileVersion(number uint64) rollout.Version {
+	return rollout.Version{ID: rollout.ID{Source: rollout.File, Number: number}, Digest: goldenFile}
 }
 
-func serviceVersion(epoch string, number uint64, digest string, rollback bool) *versions.Version {
-	return &versions.Version{
-		ID:       versions.ID{Source: versions.Service, Epoch: epoch, Number: number},
+func serviceVersion(epoch string, number uint64, digest string, rollback bool) *rollout.Version {
+	return &rollout.Version{
+		ID:       rollout.ID{Source: rollout.Service, Epoch: epoch, Number: number},
 		Digest:   digest,
 		Rollback: rollback,
 	}
 }
 
 // goldenStates are what the state files in testdata/golden hold, by folder.
-func goldenStates() map[string]*versions.Kept {
-	onlyFile := &versions.Pair{File: fileVersion(1)}
+func goldenStates() map[string]*rollout.Kept {
+	onlyFile := &rollout.Pair{File: fileVersion(1)}
 	first := serviceVersion("", 1, goldenFirst, false)
-	return map[string]*versions.Kept{
+	return map[string]*rollout.Kept{
 		"empty":     {},
 		"file-only": {Good: onlyFile},
-		"on-trial":  {Good: onlyFile, Trying: first, Tries: 1, Seen: []versions.Version{*first}},
+		"on-trial":  {Good: onlyFile, Trying: first, Tries: 1, Seen: []rollout.Version{*first}},
 		"refused": {
 			Good:    onlyFile,
-			Refused: []versions.Refusal{{Version: *first, Reason: "class/look: aim: 2s is over give_up"}},
-			Seen:    []versions.Version{*first},
+			Refused: []rollout.Refusal{{Version: *first, Reason: "class/look: aim: 2s is over give_up"}},
+			Seen:    []rollout.Version{*first},
 		},
 		"full": {
-			Good:   &versions.Pair{Service: serviceVersion("e", 7, goldenFirst, false), File: fileVersion(3)},
-			Before: &versions.Pair{Service: serviceVersion("e", 6, goldenSecond, true), File: fileVersion(3)},
+			Good:   &rollout.Pair{Service: serviceVersion("e", 7, goldenFirst, false), File: fileVersion(3)},
+			Before: &rollout.Pair{Service: serviceVersion("e", 6, goldenSecond, true), File: fileVersion(3)},
 			Trying: serviceVersion("f", 1, goldenSecond, true),
 			Tries:  2,
-			Refused: []versions.Refusal{
+			Refused: []rollout.Refusal{
 				{Version: *serviceVersion("e", 5, "0a", false), Reason: "version e/5 is older than e/6"},
 				{
 					Version: *serviceVersion("", 18446744073709551615, "0b", true),
@@ -59,7 +59,7 @@
 				{Version: fileVersion(2), Reason: "file 2: line 3"},
 			},
 			Left: []string{"c", "d"},
-			Seen: []versions.Version{
+			Seen: []rollout.Version{
 				*serviceVersion("e", 5, "0a", false),
 				*serviceVersion("e", 6, goldenSecond, true),
 				*serviceVersion("e", 7, goldenFirst, false),
@@ -91,7 +91,7 @@
 }
 
 // checkRewritten saves a golden folder's states in their order to another folder, and compares the files of both.
-func checkRewritten(t *testing.T, golden *Dir, newest *versions.Kept) {
+func checkRewritten(t *testing.T, golden *Dir, newest *rollout.Kept) {
 	t.Helper()
 	contents := map[string][]byte{}
 	for _, name := range names(t, golden) {
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -10,16 +10,16 @@
 	"syscall"
 	"testing"
 
-	"dunlinsail/internal/decide/versions"
+	"dunlinsail/internal/decide/rollout"
 )
 
-func version(n uint64) *versions.Version {
-	return &versions.Version{ID: versions.ID{Source: versions.Service, Epoch: "a", Number: n}, Digest: fmt.Sprintf("%02x", n)}
+func version(n uint64) *rollout.Version {
+	return &rollout.Version{ID: rollout.ID{Source: rollout.Service, Epoch: "a", Number: n}, Digest: fmt.Sprintf("%02x", n)}
 }
 
-func state(good, before uint64) *versions.Kept {
-	file := versions.Version{ID: versions.ID{Source: versions.File, Number: 1}, Digest: "ff"}
-	return &versions.Kept{Good: &versions.Pair{Service: version(good), File: file}, Before: &versions.Pair{Service: version(before), File: file}}
+func state(good, before uint64) *rollout.Kept {
+	file := rollout.Version{ID: rollout.ID{Source: rollout.File, Number: 1}, Digest: "ff"}
+	return &rollout.Kept{Good: &rollout.Pair{Service: version(good), File: file}, Before: &rollout.Pair{Service: version(before), File: file}}
 }
 
 func contents(n ...uint64) map[string][]byte {
