Rename package settle to consensus

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/operators"
-	"dunlinsail/internal/settle"
 )
 
 // atFlag is where a daemon's operators call.
@@ -99,7 +99,7 @@
 		fmt.Printf("%s\n", text)
 		return nil
 	}
-	var v settle.View
+	var v consensus.View
 	if err := json.Unmarshal(text, &v); err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 }
 
 // tellWork tells how all stands to people.
-func tellWork(out io.Writer, v *settle.View) error {
+func tellWork(out io.Writer, v *consensus.View) error {
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s leads; %d instances obey", v.Leader, len(v.Instances))
 	if v.Held {
@@ -145,7 +145,7 @@
 	var last int64 = -1
 	for {
 		text, err := c.call(stop, "/work", nil)
-		var v settle.View
+		var v consensus.View
 		if err == nil {
 			err = json.Unmarshal(text, &v)
 		}
@@ -229,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	var v settle.View
+	var v consensus.View
 	if err := json.Unmarshal(text, &v); err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/coordination"
@@ -25,7 +26,6 @@
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/settle"
 	"dunlinsail/internal/site"
 	"dunlinsail/internal/strict"
 )
@@ -321,12 +321,12 @@
 }
 
 // Settles returns the settings by which the order is settled; nil is that it is not.
-func (c *Config) Settles() *settle.Settings {
+func (c *Config) Settles() *consensus.Settings {
 	w := &c.Work
 	if !w.On {
 		return nil
 	}
-	return &settle.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{Most: w.Most, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
+	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{Most: w.Most, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
 		Ahead: w.Ahead, Room: w.Room, Lease: w.Lease.Micros(), Quiet: w.Quiet.Micros(), Warm: c.Rules.WarmAfter.Micros(), Drift: c.Peers.Drift}}
 }
 
--- a/internal/settle/file_test.go
+++ b/internal/consensus/file_test.go
@@ -1,4 +1,4 @@
-package settle
+package consensus
 
 import (
 	"errors"
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -11,17 +11,17 @@
 	"time"
 
 	"dunlinsail/internal/clock"
+	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/settle"
 )
 
 // settling is a generation's part in settling in which order machines go out for work: a goroutine of its own, since it keeps a log on
 // disk. The core is told what it has to obey, and requests never wait for any of it.
 type settling struct {
 	d      *generation
-	node   *settle.Node
-	file   *settle.File // nil for who is no voter
+	node   *consensus.Node
+	file   *consensus.File // nil for who is no voter
 	events chan func()
 	stop   context.CancelFunc
 	ended  chan struct{}
@@ -32,7 +32,7 @@
 	peakAt  clock.Micros64
 	open    map[string]int
 	obeyed  engine.Orders
-	waiting map[uint64]chan settle.Reply
+	waiting map[uint64]chan consensus.Reply
 	warned  bool
 }
 
@@ -48,17 +48,17 @@
 	if s == nil || d.settling != nil {
 		return nil
 	}
-	x := &settling{d: d, events: make(chan func(), 1024), ended: make(chan struct{}), open: map[string]int{}, waiting: map[uint64]chan settle.Reply{}}
-	var disk settle.Disk
+	x := &settling{d: d, events: make(chan func(), 1024), ended: make(chan struct{}), open: map[string]int{}, waiting: map[uint64]chan consensus.Reply{}}
+	var disk consensus.Disk
 	if path := d.config.Work.State; path != "" {
 		var err error
-		if x.file, err = settle.OpenFile(path); err != nil {
+		if x.file, err = consensus.OpenFile(path); err != nil {
 			d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
 		} else {
 			disk = x.file
 		}
 	}
-	node, err := settle.New(d.clk.Now(), *s, rand.Uint64(), disk)
+	node, err := consensus.New(d.clk.Now(), *s, rand.Uint64(), disk)
 	if node == nil {
 		return err
 	}
@@ -98,7 +98,7 @@
 }
 
 // hear takes a word in. It never waits: what is too much is lost, as on any way.
-func (x *settling) hear(from string, w settle.Word) {
+func (x *settling) hear(from string, w consensus.Word) {
 	select {
 	case x.events <- func() { x.node.Hear(x.d.clk.Now(), from, w) }:
 	default:
@@ -181,12 +181,12 @@
 var errLeaderless = errors.New("nobody leads in settling the order just now; say it again")
 
 // say says something for an operator, and waits for its answer.
-func (x *settling) say(ctx context.Context, put func(now clock.Micros64) uint64) (settle.Reply, error) {
-	answer := make(chan settle.Reply, 1)
+func (x *settling) say(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.Reply, error) {
+	answer := make(chan consensus.Reply, 1)
 	select {
 	case x.events <- func() { x.waiting[put(x.d.clk.Now())] = answer }:
 	case <-ctx.Done():
-		return settle.Reply{}, errLeaderless
+		return consensus.Reply{}, errLeaderless
 	}
 	select {
 	case r := <-answer:
@@ -197,11 +197,11 @@
 	case <-x.ended:
 	case <-ctx.Done():
 		select {
-		case x.events <- func() { maps.DeleteFunc(x.waiting, func(_ uint64, c chan settle.Reply) bool { return c == answer }) }:
+		case x.events <- func() { maps.DeleteFunc(x.waiting, func(_ uint64, c chan consensus.Reply) bool { return c == answer }) }:
 		default:
 		}
 	}
-	return settle.Reply{}, errLeaderless
+	return consensus.Reply{}, errLeaderless
 }
 
 // work answers an operator's call: an order in JSON, or a look at how all stands without one.
--- a/internal/lab/live/work.go
+++ b/internal/lab/live/work.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/scenario"
 	"dunlinsail/internal/operators"
-	"dunlinsail/internal/settle"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -102,7 +102,7 @@
 			continue
 		}
 		text, err := r.call(ctx, turn, "/work", nil)
-		var v settle.View
+		var v consensus.View
 		if err != nil || json.Unmarshal(text, &v) != nil {
 			continue
 		}
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/lease"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/settle"
 )
 
 // The files under testdata were written before the message types had tags, and never change: instances of builds before and
@@ -57,7 +57,7 @@
 			Grant: grant, All: all},
 	}
 	envelopes := map[string]envelope{
-		"consensus": {From: "instance-1", To: "instance-2", Settle: &settle.Word{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
+		"consensus": {From: "instance-1", To: "instance-2", Settle: &consensus.Word{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
 	}
 	for name, w := range words {
 		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Word: w}
