--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -11,8 +11,8 @@
 	"text/tabwriter"
 
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/configcache"
 	"dunlinsail/internal/decide/rollout"
-	"dunlinsail/internal/kept"
 )
 
 type configCmd struct {
@@ -26,7 +26,7 @@
 // known are the versions that an instance keeps.
 type known struct {
 	file *config.Config
-	dir  *kept.Dir
+	dir  *configcache.Dir
 	kept *rollout.Kept // never nil
 }
 
@@ -42,7 +42,7 @@
 	if _, err := os.Stat(c.Control.State); errors.Is(err, fs.ErrNotExist) {
 		return k, nil // it has never served
 	}
-	if k.dir, err = kept.Open(c.Control.State); err != nil {
+	if k.dir, err = configcache.Open(c.Control.State); err != nil {
 		return nil, err
 	}
 	got, from, err := k.dir.Load()
--- a/internal/kept/kept.go
+++ b/internal/configcache/kept.go
@@ -1,7 +1,7 @@
-// Package kept keeps on disk what an instance knows of the versions of its configuration, and their contents, so that it
+// Package configcache keeps on disk what an instance knows of the versions of its configuration, and their contents, so that it
 // starts with the last good one while the service that sends them is away. What is written is written whole or not at all,
 // and what was there before stays beside it until the next time. It knows nothing of what is in a version.
-package kept
+package configcache
 
 import (
 	"bytes"
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -13,10 +13,10 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/configcache"
 	"dunlinsail/internal/control"
 	"dunlinsail/internal/decide/canary"
 	"dunlinsail/internal/decide/rollout"
-	"dunlinsail/internal/kept"
 )
 
 // versioning is the part of a process that has to do with which configuration it runs: where versions come from, the machine
@@ -29,7 +29,7 @@
 	reads     uint64                       // of the file
 	files     map[string]*config.Config    // contents of the file, by digest: those that the machine may name
 	resources map[string][]config.Resource // contents of the service's versions
-	dir       *kept.Dir                    // nil where nothing is kept
+	dir       *configcache.Dir             // nil where nothing is kept
 	beside    sync.WaitGroup
 
 	control   config.Control // as it is followed
@@ -71,7 +71,7 @@
 	var known rollout.Kept
 	if c := &file.Control; c.State != "" {
 		var err error
-		if p.dir, err = kept.Open(c.State); err != nil {
+		if p.dir, err = configcache.Open(c.State); err != nil {
 			p.log.Error("no version of the configuration will be kept", "folder", c.State, "error", err)
 		} else if k := p.load(); k != nil {
 			known = *k
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	if config.Digest(all) != v.Digest {
-		return nil, kept.ErrSpoilt
+		return nil, configcache.ErrSpoilt
 	}
 	p.resources[v.Digest] = all
 	return config.Combine(file, all)
