Rename package control to xdsclient

Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/internal/bench/transport/xds/main.go
+++ b/internal/bench/transport/xds/main.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/control"
 	"dunlinsail/internal/strict"
+	"dunlinsail/internal/xdsclient"
 )
 
 func main() {
@@ -22,8 +22,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := 0
-	c, err := control.New(control.Options{Control: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: strict.Size{Bytes: 64 << 20}, RetryMost: strict.Duration{Duration: time.Second}},
-		Name: "bench", Log: slog.New(slog.DiscardHandler), Offer: func(u control.Update) {
+	c, err := xdsclient.New(xdsclient.Options{Control: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: strict.Size{Bytes: 64 << 20}, RetryMost: strict.Duration{Duration: time.Second}},
+		Name: "bench", Log: slog.New(slog.DiscardHandler), Offer: func(u xdsclient.Update) {
 			fmt.Println(len(u.Resources))
 			if n++; n == most {
 				cancel()
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -14,9 +14,9 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/configcache"
-	"dunlinsail/internal/control"
 	"dunlinsail/internal/decide/canary"
 	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/xdsclient"
 )
 
 // versioning is the part of a process that has to do with which configuration it runs: where versions come from, the machine
@@ -33,7 +33,7 @@
 	beside    sync.WaitGroup
 
 	control   config.Control // as it is followed
-	client    *control.Client
+	client    *xdsclient.Client
 	unfollow  context.CancelFunc // ends that
 	following sync.WaitGroup
 
@@ -171,9 +171,9 @@
 	if c.Control.Address == "" {
 		return
 	}
-	var client *control.Client
-	client, err := control.New(control.Options{Control: c.Control, Name: c.Name, Zone: c.Fleet.Zone, Running: p.service(), Log: p.log,
-		Offer: func(u control.Update) {
+	var client *xdsclient.Client
+	client, err := xdsclient.New(xdsclient.Options{Control: c.Control, Name: c.Name, Zone: c.Fleet.Zone, Running: p.service(), Log: p.log,
+		Offer: func(u xdsclient.Update) {
 			p.post(func() {
 				if p.client == client {
 					p.offered(u)
@@ -204,7 +204,7 @@
 }
 
 // offered takes a version in that the service sent.
-func (p *process) offered(u control.Update) {
+func (p *process) offered(u xdsclient.Update) {
 	if u.Wrong != "" {
 		p.do(p.machine.Reject(u.Version, u.Wrong))
 		return
--- a/internal/standin/steward/steward.go
+++ b/internal/standin/steward/steward.go
@@ -19,7 +19,7 @@
 	"google.golang.org/protobuf/types/known/structpb"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/control"
+	"dunlinsail/internal/xdsclient"
 )
 
 // Word is one request of an instance.
@@ -126,13 +126,13 @@
 
 // Response returns what is sent for a version.
 func Response(info string, all []config.Resource, release map[string]any) (*discovery.DiscoveryResponse, error) {
-	r := &discovery.DiscoveryResponse{VersionInfo: info, TypeUrl: control.TypeURL}
+	r := &discovery.DiscoveryResponse{VersionInfo: info, TypeUrl: xdsclient.TypeURL}
 	add := func(kind string, fields map[string]any) error {
 		value, err := structpb.NewStruct(fields)
 		if err != nil {
 			return err
 		}
-		x, err := anypb.New(&typed.TypedStruct{TypeUrl: control.KindPrefix + kind, Value: value})
+		x, err := anypb.New(&typed.TypedStruct{TypeUrl: xdsclient.KindPrefix + kind, Value: value})
 		if err != nil {
 			return err
 		}
--- a/internal/control/client.go
+++ b/internal/xdsclient/client.go
@@ -1,8 +1,8 @@
-// Package control speaks to a control service, from which versions of the configuration come: the xDS transport protocol
+// Package xdsclient speaks to a control service, from which versions of the configuration come: the xDS transport protocol
 // (https://www.envoyproxy.io/docs/envoy/latest/api-docs/xds_protocol), state of the world, over gRPC, with resources of the
 // project's own kinds. It reads what the service sends, within bounds, and says what became of it; which version is
 // applied, package decide/versions decides, and whether one makes sense, package config. It knows nothing of daemons.
-package control
+package xdsclient
 
 import (
 	"context"
--- a/internal/control/control_test.go
+++ b/internal/xdsclient/control_test.go
@@ -1,4 +1,4 @@
-package control_test
+package xdsclient_test
 
 import (
 	"context"
@@ -26,26 +26,26 @@
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/control"
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/steward"
 	"dunlinsail/internal/strict"
+	"dunlinsail/internal/xdsclient"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // following is a client under test.
 type following struct {
-	*control.Client
+	*xdsclient.Client
 	mu  sync.Mutex
-	got []control.Update
+	got []xdsclient.Update
 }
 
-func (f *following) updates() []control.Update {
+func (f *following) updates() []xdsclient.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]control.Update(nil), f.got...)
+	return append([]xdsclient.Update(nil), f.got...)
 }
 
 func settings(addr string) config.Control {
@@ -55,7 +55,7 @@
 func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
 	t.Helper()
 	f := &following{}
-	client, err := control.New(control.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: peer.Quiet, Offer: func(u control.Update) {
+	client, err := xdsclient.New(xdsclient.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: peer.Quiet, Offer: func(u xdsclient.Update) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.got = append(f.got, u)
@@ -379,12 +379,12 @@
 	peer.Eventually(t, "the version", func() bool { return good.has(1) })
 	bad := with(ours, ours, "")
 	bad.CA = bad.Key
-	if _, err := control.New(control.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
+	if _, err := xdsclient.New(xdsclient.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
 		t.Errorf("a CA that is none: %v", err)
 	}
 	bad = with(ours, ours, "")
 	bad.Key = "/nowhere"
-	if _, err := control.New(control.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.cert") {
+	if _, err := xdsclient.New(xdsclient.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.cert") {
 		t.Errorf("a key that is not there: %v", err)
 	}
 }
--- a/internal/control/decode.go
+++ b/internal/xdsclient/decode.go
@@ -1,4 +1,4 @@
-package control
+package xdsclient
 
 import (
 	"crypto/sha256"
--- a/internal/control/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -1,4 +1,4 @@
-package control_test
+package xdsclient_test
 
 import (
 	"bytes"
--- a/internal/control/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -1,4 +1,4 @@
-package control_test
+package xdsclient_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"dunlinsail/internal/control"
 	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/xdsclient"
 )
 
 // A control plane that is built on go-control-plane, as many are, is understood as it comes, and understands the answers.
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := cache.NewLinearCache(control.TypeURL, cache.WithVersionPrefix("plane/"))
+	all := cache.NewLinearCache(xdsclient.TypeURL, cache.WithVersionPrefix("plane/"))
 	refused := make(chan string, 16)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -42,7 +42,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		all.SetResources(map[string]types.Resource{"class/look": &typed.TypedStruct{TypeUrl: control.KindPrefix + "class", Value: value}})
+		all.SetResources(map[string]types.Resource{"class/look": &typed.TypedStruct{TypeUrl: xdsclient.KindPrefix + "class", Value: value}})
 	}
 	set(1)
 	f := follow(t, settings(ln.Addr().String()), nil)
@@ -59,7 +59,7 @@
 		t.Errorf("%+v", two)
 	}
 	f.Nack(two.Version.ID, "not today", &one.Version.ID)
-	if got := peer.Within(t, refused, "the refusal"); got != control.VersionInfo(one.Version.ID)+": not today" {
+	if got := peer.Within(t, refused, "the refusal"); got != xdsclient.VersionInfo(one.Version.ID)+": not today" {
 		t.Errorf("it heard %q", got)
 	}
 	set(3)
