Rename package events to eventlog

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -3,14 +3,14 @@
 import (
 	"io"
 
-	"dunlinsail/internal/events"
+	"dunlinsail/internal/eventlog"
 )
 
 // Fleet counts the events in the logs of a fleet's instances.
 func Fleet(out io.Writer, dir string) error {
-	fleet, err := events.ReadFleet(dir)
+	fleet, err := eventlog.ReadFleet(dir)
 	if err != nil {
 		return err
 	}
-	return events.Count(fleet).Write(out)
+	return eventlog.Count(fleet).Write(out)
 }
--- a/internal/events/events.go
+++ b/internal/eventlog/events.go
@@ -1,7 +1,7 @@
-// Package events writes down what one instance does at its endpoints and at discovery, a line each, and counts the lines of
+// Package eventlog writes down what one instance does at its endpoints and at discovery, a line each, and counts the lines of
 // a whole fleet: what is harmless in one instance may not be in eighty. It decides nothing, and may not know protocols or
 // sockets. events.go holds the lines, count.go what is counted of them, report.go how that is told.
-package events
+package eventlog
 
 import (
 	"bufio"
--- a/internal/events/events_test.go
+++ b/internal/eventlog/events_test.go
@@ -1,4 +1,4 @@
-package events
+package eventlog
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,7 +38,7 @@
 	Site      site.Site
 
 	FileDiscovery string    // as the file alone names it
-	Events        io.Writer // where what is done at endpoints and at discovery is told (package events); nil is nowhere
+	Events        io.Writer // where what is done at endpoints and at discovery is told (package eventlog); nil is nowhere
 }
 
 // ConfigError names the part of the configuration that makes no sense.
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/events"
+	"dunlinsail/internal/eventlog"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/peer"
 )
@@ -28,22 +28,22 @@
 	if err := <-s.ended; err != nil {
 		t.Fatal(err)
 	}
-	got, err := events.Read(&out)
+	got, err := eventlog.Read(&out)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := map[events.Kind]int{}
+	n := map[eventlog.Kind]int{}
 	for _, e := range got {
 		n[e.Kind]++
 		named := e.Endpoint == "s-1"
-		if e.Kind == events.Dialed || e.Kind == events.Closed {
+		if e.Kind == eventlog.Dialed || e.Kind == eventlog.Closed {
 			named = e.Endpoint == addr
 		}
-		if !named && e.Kind != events.Asked || e.At == 0 {
+		if !named && e.Kind != eventlog.Asked || e.At == 0 {
 			t.Errorf("%+v", e)
 		}
 	}
-	if n[events.Sent] != 3 || n[events.Ended] != 3 || n[events.Told] != 1 || n[events.Dialed] == 0 || n[events.Closed] != n[events.Dialed] || n[events.Asked] == 0 {
+	if n[eventlog.Sent] != 3 || n[eventlog.Ended] != 3 || n[eventlog.Told] != 1 || n[eventlog.Dialed] == 0 || n[eventlog.Closed] != n[eventlog.Dialed] || n[eventlog.Asked] == 0 {
 		t.Errorf("%v", n)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,7 +22,7 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/events"
+	"dunlinsail/internal/eventlog"
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/operators"
 	"dunlinsail/internal/platform"
@@ -114,7 +114,7 @@
 	source *discovery.Source
 	front  *http1.Front
 	client *http1.Client // the application
-	events *events.Log   // nil where they are not asked for
+	events *eventlog.Log // nil where they are not asked for
 
 	endpoints *core.Pool
 	watcher1  *discovery.Watcher // the first
@@ -132,7 +132,7 @@
 	s := &sidecar{config: c, clock: clk, log: log}
 	var observe engine.Observer
 	if c.Events != nil {
-		s.events = events.NewLog(c.Events, clk.Now)
+		s.events = eventlog.NewLog(c.Events, clk.Now)
 		observe = s.events
 		if dial == nil {
 			dial = (&net.Dialer{Timeout: clock.Duration(c.Site.Settings.Limits.DialTimeout)}).DialContext
