Rename package membership to endpointsource

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -18,8 +18,8 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/endpointsource"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/membership"
 	"dunlinsail/internal/site"
 	"dunlinsail/internal/upstream"
 )
@@ -79,7 +79,7 @@
 	for i := range fleet {
 		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.Fields, DialTimeout: giveUp / 2})}
 		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
-		c := engine.PoolConfig{Known: membership.Listed(o.Nodes, "a", 0), Listed: true, Watch: func(bool) {}}
+		c := engine.PoolConfig{Known: endpointsource.Listed(o.Nodes, "a", 0), Listed: true, Watch: func(bool) {}}
 		if o.Subset > 0 {
 			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, Least: o.Subset, Probes: o.NodeProbes, IdleConnections: o.NodeIdle}
 			c.Rest = func(n float64) { in.up.Rest("", n) }
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -14,9 +14,9 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/endpointsource"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/front/http1"
-	"dunlinsail/internal/membership"
 	"dunlinsail/internal/upstream"
 )
 
@@ -26,7 +26,7 @@
 	endpoints *core.Pool
 	source    *discovery.Source  // of discovery; nil is another
 	watch     *discovery.Watcher // the source's first
-	file      *membership.File
+	file      *endpointsource.File
 	told      int64 // generation of a list that stands in the configuration
 }
 
@@ -43,7 +43,7 @@
 	switch {
 	case conf.Endpoints != nil:
 		c.Listed = true
-		c.Known = membership.Listed(*conf.Endpoints, d.config.Fleet.Zone, 0)
+		c.Known = endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, 0)
 	case conf.File != "":
 		c.Listed = true
 	default:
@@ -70,7 +70,7 @@
 func (d *generation) begin(p *pool) {
 	switch {
 	case p.conf.File != "":
-		p.file = membership.Watch(p.conf.File, membership.Every, func(ctx context.Context, t engine.Told) { p.endpoints.Members(ctx, t) }, d.log)
+		p.file = endpointsource.Watch(p.conf.File, endpointsource.Every, func(ctx context.Context, t engine.Told) { p.endpoints.Members(ctx, t) }, d.log)
 	case p.source != nil && !d.o.Config.Site.Settings.Subscribe:
 		p.source.Watch(true)
 	}
@@ -120,7 +120,7 @@
 		case reflect.DeepEqual(p.conf, conf):
 		case conf.Endpoints != nil:
 			p.told++
-			p.endpoints.Members(context.Background(), membership.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.told))
+			p.endpoints.Members(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.told))
 		default:
 			p.source.Move(d.watcher(p, conf.Discovery))
 			p.endpoints.Moved(conf.Source())
--- a/internal/membership/membership.go
+++ b/internal/endpointsource/membership.go
@@ -1,6 +1,6 @@
-// Package membership holds sources of lists of endpoints beside discovery: a list that stands in a configuration, and a
+// Package endpointsource holds sources of lists of endpoints beside discovery: a list that stands in a configuration, and a
 // file that is read again when it changes. A source tells whole lists; it knows nothing of what is done with them.
-package membership
+package endpointsource
 
 import (
 	"bytes"
--- a/internal/membership/membership_test.go
+++ b/internal/endpointsource/membership_test.go
@@ -1,4 +1,4 @@
-package membership
+package endpointsource
 
 import (
 	"context"
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,7 +1,7 @@
 // Package peers carries words between the instances of a fleet: it finds the others and hears of their end by
 // hashicorp/memberlist (SWIM: Das, Gupta, Motivala 2002, with Lifeguard: Dadgar, Phillips, Currey 2017), and sends words as that
 // library's user messages, in CBOR (RFC 8949). A word may be lost, late, doubled or out of order: who says it counts on nothing.
-// It decides nothing, and may not know engines or what words mean. What a list of endpoints comes from is package membership's.
+// It decides nothing, and may not know engines or what words mean. What a list of endpoints comes from is package endpointsource's.
 package peers
 
 import (
