Rename package operators to admin

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -11,10 +11,10 @@
 	"text/tabwriter"
 	"time"
 
+	"dunlinsail/internal/admin"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
-	"dunlinsail/internal/operators"
 )
 
 // atFlag is where a daemon's operators call.
@@ -48,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(stop, askFor)
 	defer cancel()
-	return operators.Call(ctx, at, path, body)
+	return admin.Call(ctx, at, path, body)
 }
 
 type workCmd struct {
--- a/internal/operators/operators.go
+++ b/internal/admin/operators.go
@@ -1,7 +1,7 @@
-// Package operators serves the calls of on-call staff: whether this process takes clients, its figures, and endpoints
+// Package admin serves the calls of on-call staff: whether this process takes clients, its figures, and endpoints
 // taken out by hand. It decides nothing and knows neither engines nor clients' requests: what it is asked for it asks of
 // whoever made it (Desk), and an answer it has in time whatever else the process does.
-package operators
+package admin
 
 import (
 	"bytes"
--- a/internal/operators/operators_test.go
+++ b/internal/admin/operators_test.go
@@ -1,4 +1,4 @@
-package operators
+package admin
 
 import (
 	"bufio"
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"dunlinsail/internal/operators"
+	"dunlinsail/internal/admin"
 	"dunlinsail/internal/takeover"
 )
 
@@ -30,7 +30,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := operators.Serve(ln, d.desk()); err != nil {
+		if err := admin.Serve(ln, d.desk()); err != nil {
 			d.log.Error("operators' calls are not served any more", "error", err)
 		}
 	}()
@@ -49,15 +49,15 @@
 }
 
 // desk answers operators' calls.
-func (d *generation) desk() operators.Desk {
-	return operators.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.figures, ByHand: d.byHand, Members: d.view, Work: d.work, Log: d.log}
+func (d *generation) desk() admin.Desk {
+	return admin.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.figures, ByHand: d.byHand, Members: d.view, Work: d.work, Log: d.log}
 }
 
 // byHand takes an endpoint out, or lets it in again. It holds at this instance, and goes with its place.
 func (d *generation) byHand(ctx context.Context, target string, out bool) error {
 	_, known, err := d.core.ByHand(ctx, target, out, takeover.Monotonic())
 	if err == nil && !known {
-		err = operators.ErrUnknown
+		err = admin.ErrUnknown
 	}
 	return err
 }
--- a/internal/lab/live/work.go
+++ b/internal/lab/live/work.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"dunlinsail/internal/admin"
 	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/operators"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -80,7 +80,7 @@
 func callOne(ctx context.Context, addr, path string, body any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
-	return operators.Call(ctx, addr, path, body)
+	return admin.Call(ctx, addr, path, body)
 }
 
 // labour has machines taken out and brought back until all are, or the event ends.
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -11,15 +11,15 @@
 	"path/filepath"
 	"strconv"
 
+	"dunlinsail/internal/admin"
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/front/http1"
-	"dunlinsail/internal/operators"
 	"dunlinsail/internal/takeover"
 )
 
 // desk answers operators' calls.
-func (s *sidecar) desk() operators.Desk {
-	return operators.Desk{Ready: s.takesClients, Figures: s.figures, ByHand: s.byHand, Log: s.log}
+func (s *sidecar) desk() admin.Desk {
+	return admin.Desk{Ready: s.takesClients, Figures: s.figures, ByHand: s.byHand, Log: s.log}
 }
 
 // takesClients says whether this process takes clients, and if not, why.
@@ -40,7 +40,7 @@
 	case err != nil:
 		return err
 	case !known:
-		return operators.ErrUnknown
+		return admin.ErrUnknown
 	}
 	s.course.say(w)
 	s.write(ctx)
@@ -144,7 +144,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := operators.Serve(ln, s.desk()); err != nil {
+		if err := admin.Serve(ln, s.desk()); err != nil {
 			s.log.Error("operators' calls are not served any more", "error", err)
 		}
 	}()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/admin"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/connlimit"
@@ -24,7 +25,6 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/eventlog"
 	"dunlinsail/internal/front/http1"
-	"dunlinsail/internal/operators"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/upstream"
 )
@@ -55,7 +55,7 @@
 // sockets is how many descriptors clients and endpoints share.
 func sockets(c *platform.Config) int {
 	if c.Operator != "" {
-		return c.Sockets - operators.Sockets
+		return c.Sockets - admin.Sockets
 	}
 	return c.Sockets
 }
