Rename package site to siteconfig

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -20,7 +20,7 @@
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/endpointsource"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
 
@@ -69,7 +69,7 @@
 	clk := clock.New()
 	short := &atomic.Int64{}
 	log := slog.New(&shortage{Handler: slog.NewTextHandler(io.Discard, nil), n: short})
-	where := &site.Site{Settings: settings(o.Instances), Classes: []string{"look"}, Zones: []string{"a"}, Kinds: []string{""},
+	where := &siteconfig.Site{Settings: settings(o.Instances), Classes: []string{"look"}, Zones: []string{"a"}, Kinds: []string{""},
 		Fields: []string{"inflight", "queue"}, KeepAlive: 15 * time.Second}
 	beside, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,7 +26,7 @@
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/strict"
 )
 
@@ -71,7 +71,7 @@
 	Table *route.Table `toml:"-"`
 
 	// Site is what the decisions are told, made of the tables from fleet on.
-	Site site.Site `toml:"-"`
+	Site siteconfig.Site `toml:"-"`
 }
 
 // Process bounds what the daemon takes of its host.
@@ -728,7 +728,7 @@
 	k.That(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
 	k.That(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
 	k.That(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
-	k.That(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= site.BodyMost, at("bytes_held"), "under %d a whole body does not fit", site.BodyMost)
+	k.That(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.BodyMost, at("bytes_held"), "under %d a whole body does not fit", siteconfig.BodyMost)
 }
 
 // fields are the figures of a load report by their names on the sockets (BENCH).
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,7 +19,7 @@
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // Upstream makes targets of addresses. Its methods must not wait.
@@ -79,7 +79,7 @@
 // Config is what a Core needs.
 type Config struct {
 	Clock    clock.Clock
-	Site     *site.Site
+	Site     *siteconfig.Site
 	Seed     uint64
 	Sharing  engine.Sharing
 	Upstream Upstream
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -28,8 +28,8 @@
 	return target{}
 }
 
-func testSite() *site.Site {
-	return &site.Site{Classes: []string{"look"}, Zones: []string{"a"}, Settings: balancer.Settings{Balancers: 1,
+func testSite() *siteconfig.Site {
+	return &siteconfig.Site{Classes: []string{"look"}, Zones: []string{"a"}, Settings: balancer.Settings{Balancers: 1,
 		Classes: []balancer.Class{{Name: "look", Repeat: balancer.Safe, Aim: 400_000, GiveUp: 1_000_000, Worth: 1}},
 		Limits:  balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 10},
 		Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2.5,
--- a/internal/decide/imports_test.go
+++ b/internal/decide/imports_test.go
@@ -33,7 +33,7 @@
 		}
 		allowed := pure
 		if words[0] == "dunlinsail/internal/engine" {
-			allowed = append(slices.Clone(pure), "hash/fnv", "sync/atomic", "dunlinsail/balancer", "dunlinsail/internal/site")
+			allowed = append(slices.Clone(pure), "hash/fnv", "sync/atomic", "dunlinsail/balancer", "dunlinsail/internal/siteconfig")
 		}
 		for _, used := range words[3:] {
 			if !slices.Contains(allowed, used) && !strings.HasPrefix(used, "dunlinsail/internal/decide/") {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,7 +13,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
@@ -142,7 +142,7 @@
 
 // Config is what an Engine needs.
 type Config struct {
-	Site    *site.Site
+	Site    *siteconfig.Site
 	Seed    uint64
 	Sharing Sharing
 	Host    Host
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -7,7 +7,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/subset"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // host is a host whose endpoints answer at once, but for those that fail.
@@ -63,7 +63,7 @@
 		Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.2, RampTime: 20 * second, FallMultiple: 2.5,
 			OverloadFor: 2 * second, AskWithin: 10 * second}, Goal: balancer.Goal{Whole: 1}}
 	h := &host{fails: map[string]bool{}, to: map[string]int{}, answered: map[Verdict]int{}}
-	h.x = New(Config{Site: &site.Site{Settings: s, Classes: []string{"look"}, Zones: []string{"a"}}, Seed: 5, Host: h})
+	h.x = New(Config{Site: &siteconfig.Site{Settings: s, Classes: []string{"look"}, Zones: []string{"a"}}, Seed: 5, Host: h})
 	var list []Member
 	for i := range 60 {
 		list = append(list, Member{Name: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Weight: 1})
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // carrier is a host that answers nothing by itself, and notes what it is asked for.
@@ -31,8 +31,8 @@
 func (h *carrier) Ready()                   {}
 func (h *carrier) Log(string, ...any)       {}
 func (h *carrier) Warn(string, ...any)      {}
-func tenantSite(limit float64, n, place int) *site.Site {
-	return &site.Site{Classes: []string{"look", "book"}, Tenants: []string{"t", "free"}, Limits: []float64{limit, 0}, Zones: []string{"z"}, Kinds: []string{"k"},
+func tenantSite(limit float64, n, place int) *siteconfig.Site {
+	return &siteconfig.Site{Classes: []string{"look", "book"}, Tenants: []string{"t", "free"}, Limits: []float64{limit, 0}, Zones: []string{"z"}, Kinds: []string{"k"},
 		Settings: balancer.Settings{Balancers: n, Position: place, Zones: 1, Kinds: 1, OverShareWorth: 1,
 			Classes:  []balancer.Class{{Name: "look", Aim: 200_000, GiveUp: 500_000, Worth: 1}, {Name: "book", Aim: 200_000, GiveUp: 500_000, Worth: 5}},
 			Tenants:  []balancer.Tenant{{Name: "t", Allowance: 10, Share: 0.5}, {Name: "free", Allowance: 10, Share: 0.5}},
@@ -42,7 +42,7 @@
 }
 
 // fleetOf returns an engine with three endpoints; with uses it is alone in a fleet of one that lends to itself.
-func fleetOf(t testing.TB, s *site.Site, uses *Uses, o *overload.Settings) (*Engine, *Pool, *carrier) {
+func fleetOf(t testing.TB, s *siteconfig.Site, uses *Uses, o *overload.Settings) (*Engine, *Pool, *carrier) {
 	t.Helper()
 	h := &carrier{answers: map[string]Answer{}}
 	x := New(Config{Site: s, Seed: 1, Host: h, Sharing: Sharing{Open: 1000}})
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -26,7 +26,7 @@
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/message"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
 
@@ -43,7 +43,7 @@
 // Options are what a Front needs.
 type Options struct {
 	Clock  clock.Clock
-	Site   *site.Site
+	Site   *siteconfig.Site
 	Core   *core.Core
 	Limits connlimit.Limits // of the clients' connections
 	Log    *slog.Logger
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -13,7 +13,7 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/message"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
 
@@ -23,7 +23,7 @@
 const (
 	// plainHold is what is held of a body in either direction. Up to so many bytes a message's time is that of its last
 	// byte, and beyond it that of its first (DAYS), so that holding more would only make it later.
-	plainHold = site.BodyMost
+	plainHold = siteconfig.BodyMost
 	// plainIdle is how long a message that streams may say nothing. Peers write slowly and in pieces, a client 64 kB a
 	// second at the least; who is silent for longer than any request may take is gone.
 	plainIdle = 10 * time.Second
@@ -131,7 +131,7 @@
 	}
 	k = &core.Call{Client: conn.client.share, Pool: f.o.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: uint8(class),
 		Tenant: f.tenantNamed(r.Header.Get("X-Customer")), Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
-		Deadline: left - site.AnswerMargin.Microseconds()}}
+		Deadline: left - siteconfig.AnswerMargin.Microseconds()}}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
 		k.In.Hint, k.In.HasHint = hint, true
 	}
--- a/internal/front/http1/routes.go
+++ b/internal/front/http1/routes.go
@@ -17,7 +17,7 @@
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/message"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
 
@@ -230,7 +230,7 @@
 	rt.Request.apply(out.Header)
 	k := &core.Call{Client: c.client.share, Pool: rt.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: class,
 		Tenant: f.tenantNamed(rt.Tenant.of(c, q, path)), Key: key(rt.Object.of(c, q, path)), Tries: rt.Tries}}
-	k.In.Deadline = left - site.AnswerMargin.Microseconds() // from its arrival
+	k.In.Deadline = left - siteconfig.AnswerMargin.Microseconds() // from its arrival
 	return k, out, nil
 }
 
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -34,7 +34,7 @@
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/port"
 	"dunlinsail/internal/standin/roster"
 )
@@ -59,7 +59,7 @@
 type run struct {
 	o       Options
 	plan    *scenario.Plan
-	site    *site.Site
+	site    *siteconfig.Site
 	habits  caller.Habits
 	dir     string
 	base    time.Time
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -14,7 +14,7 @@
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // instance is one instance of the daemon: an engine, and what a process has around it.
@@ -32,7 +32,7 @@
 	engine  *engine.Engine
 	pool    *engine.Pool
 	clients []*engine.Client // of each process
-	site    site.Site
+	site    siteconfig.Site
 	wakeAt  Micros // the instant of the wake that is scheduled; 0 is none
 	seed    uint64
 
@@ -225,7 +225,7 @@
 	// What is told is how long the client waits from when it sent the request; the way here is not known.
 	t.call = engine.Call{Client: in.clients[s.Process], Pool: in.pool, ID: fmt.Sprintf("%x-%d", s.ID, t.Number), Arrived: now, Host: t,
 		In: balancer.Request{Class: uint8(r.ownClass[s.Class]), Tenant: tenant, Retry: t.Retry, Key: s.Object, Write: s.class.Repeat != balancer.Safe,
-			Deadline: now + (t.Deadline-t.sent)/1000*1000 - site.AnswerMargin.Microseconds()}}
+			Deadline: now + (t.Deadline-t.sent)/1000*1000 - siteconfig.AnswerMargin.Microseconds()}}
 	r.meter.Costs.Decisions++
 	in.engine.Submit(now, &t.call)
 	in.settle()
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -23,7 +23,7 @@
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 // Micros is an instant or a duration in microseconds; a run begins at 0.
@@ -36,7 +36,7 @@
 
 // Settings are what a fleet runs on.
 type Settings struct {
-	Site        site.Site // of any instance: what differs between them is filled in
+	Site        siteconfig.Site // of any instance: what differs between them is filled in
 	Sharing     engine.Sharing
 	RetryBudget float64            // of the pool
 	Subset      *subset.Settings   // of each instance: place and number are filled in; nil is none
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -13,7 +13,7 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"time"
 )
 
@@ -71,7 +71,7 @@
 		Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.3, RampTime: 4_000_000, FallMultiple: 2.5, OverloadFor: 2_000_000, AskWithin: 10_000_000,
 			AnswerSlack: 16_000},
 		Goal: balancer.Goal{Whole: 1}}
-	return &Settings{Site: site.Site{Settings: s, Classes: []string{"look", "book", "sell"}, Tenants: []string{"p"}, Zones: []string{"x", "y"}, Kinds: []string{"n"},
+	return &Settings{Site: siteconfig.Site{Settings: s, Classes: []string{"look", "book", "sell"}, Tenants: []string{"p"}, Zones: []string{"x", "y"}, Kinds: []string{"n"},
 		KeepAlive: 15 * time.Second}, Sharing: engine.Sharing{Open: 1000, Adaptive: &concurrency.Settings{Least: 4, Most: 500, First: 16}},
 		Clients: connlimit.Limits{Total: 500, AtRest: 100, IdleMost: 15 * second, IdleLeast: second / 10}, Client: fairqueue.Spec{Weight: 1}}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,7 +18,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 	MemoryMB  int
 	Sockets   int // file descriptors
 	Known     discovery.List
-	Site      site.Site
+	Site      siteconfig.Site
 
 	FileDiscovery string    // as the file alone names it
 	Events        io.Writer // where what is done at endpoints and at discovery is told (package eventlog); nil is nowhere
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -7,7 +7,7 @@
 	"dunlinsail/internal/front/http1"
 	"dunlinsail/internal/message"
 	"dunlinsail/internal/platform"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/peer"
 	"fmt"
@@ -42,7 +42,7 @@
 	for _, r := range []*http.Request{
 		look(480),
 		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
-		request("POST", "/book", "book", 480, strings.Repeat("b", site.BodyMost-6)), // the answer is as large as one may be
+		request("POST", "/book", "book", 480, strings.Repeat("b", siteconfig.BodyMost-6)), // the answer is as large as one may be
 		request("POST", "/pay?p=1", "pay", 480, ""),
 	} {
 		body, _ := io.ReadAll(r.Body)
--- a/internal/site/site.go
+++ b/internal/siteconfig/site.go
@@ -1,7 +1,7 @@
-// Package site holds what a site's operators have settled: the settings of the decisions, and the names that
+// Package siteconfig holds what a site's operators have settled: the settings of the decisions, and the names that
 // stand for their numbers on the sockets. It knows neither files nor sockets: what reads a configuration fills
 // it, and all else takes it as it is.
-package site
+package siteconfig
 
 import (
 	"time"
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -17,11 +17,11 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 )
 
 const (
-	answerMost   = site.BodyMost + 64<<10 // with its head and framing
+	answerMost   = siteconfig.BodyMost + 64<<10 // with its head and framing
 	probeTimeout = 250 * time.Millisecond
 )
 
@@ -238,15 +238,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if n > site.BodyMost {
+		if n > siteconfig.BodyMost {
 			return nil, errTooLarge
 		}
 		body := make([]byte, n)
 		_, err = io.ReadFull(c.r, body)
 		return body, err
 	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), site.BodyMost+1))
-		if err == nil && len(body) > site.BodyMost {
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), siteconfig.BodyMost+1))
+		if err == nil && len(body) > siteconfig.BodyMost {
 			err = errTooLarge
 		}
 		if err == nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -18,7 +18,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/site"
+	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -182,8 +182,8 @@
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
 		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*interimMost), balancer.Reset},
 		{"unreadable report", strings.Replace(okAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
-		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", site.BodyMost+1,
-			strings.Repeat("x", site.BodyMost+1)), balancer.Reset},
+		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", siteconfig.BodyMost+1,
+			strings.Repeat("x", siteconfig.BodyMost+1)), balancer.Reset},
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
