--- a/cmd/dunlinlab/main.go
+++ b/cmd/dunlinlab/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // The exit codes: 1 is a claim that fails or a run that could not be made, 2 a mistake of whoever called or in a file, 3
@@ -80,7 +80,7 @@
 	if flushErr := o.Flush(); err == nil {
 		err = flushErr
 	}
-	var mistakes strict.Errors
+	var mistakes stricttoml.Errors
 	switch {
 	case err == nil:
 		return exitOK
--- a/cmd/dunlinsaild/main.go
+++ b/cmd/dunlinsaild/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // The exit codes: 1 is that something could not be done, 2 a mistake of whoever called, or in a file; nothing was started.
@@ -77,7 +77,7 @@
 
 // tell says what is wrong, a line for each mistake.
 func (m *mistakesIn) tell() {
-	var all strict.Errors
+	var all stricttoml.Errors
 	if !errors.As(m.err, &all) {
 		fmt.Fprintln(os.Stderr, m.err)
 		return
--- a/internal/bench/transport/xds/main.go
+++ b/internal/bench/transport/xds/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 	"dunlinsail/internal/xdsclient"
 )
 
@@ -22,7 +22,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := 0
-	c, err := xdsclient.New(xdsclient.Options{Control: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: strict.Size{Bytes: 64 << 20}, RetryMost: strict.Duration{Duration: time.Second}},
+	c, err := xdsclient.New(xdsclient.Options{Control: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: stricttoml.Size{Bytes: 64 << 20}, RetryMost: stricttoml.Duration{Duration: time.Second}},
 		Name: "bench", Log: slog.New(slog.DiscardHandler), Offer: func(u xdsclient.Update) {
 			fmt.Println(len(u.Resources))
 			if n++; n == most {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,7 +27,7 @@
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/siteconfig"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Config is what a daemon is told by its file.
@@ -76,9 +76,9 @@
 
 // Process bounds what the daemon takes of its host.
 type Process struct {
-	Cores       int         `toml:"cores"` // 0 is all there are
-	Memory      strict.Size `toml:"memory"`
-	Descriptors int         `toml:"descriptors"`
+	Cores       int             `toml:"cores"` // 0 is all there are
+	Memory      stricttoml.Size `toml:"memory"`
+	Descriptors int             `toml:"descriptors"`
 }
 
 // Discovery is where the list of endpoints comes from.
@@ -89,9 +89,9 @@
 
 // Takeover says how a new process takes over from the one that serves.
 type Takeover struct {
-	Socket      string          `toml:"socket"` // empty: a restart is a cold start
-	ReadyWithin strict.Duration `toml:"ready_within"`
-	DrainWithin strict.Duration `toml:"drain_within"`
+	Socket      string              `toml:"socket"` // empty: a restart is a cold start
+	ReadyWithin stricttoml.Duration `toml:"ready_within"`
+	DrainWithin stricttoml.Duration `toml:"drain_within"`
 }
 
 // Operators says where operators call.
@@ -101,32 +101,32 @@
 
 // Record says whether and how an access record is kept.
 type Record struct {
-	Dir         string          `toml:"dir"` // empty: none is
-	Sample      float64         `toml:"sample"`
-	SegmentRows int             `toml:"segment_rows"`
-	SegmentAge  strict.Duration `toml:"segment_age"`
-	Keep        strict.Size     `toml:"keep"`
-	Secret      string          `toml:"secret"` // a file
+	Dir         string              `toml:"dir"` // empty: none is
+	Sample      float64             `toml:"sample"`
+	SegmentRows int                 `toml:"segment_rows"`
+	SegmentAge  stricttoml.Duration `toml:"segment_age"`
+	Keep        stricttoml.Size     `toml:"keep"`
+	Secret      string              `toml:"secret"` // a file
 }
 
 // Control says where versions of the configuration come from, beside the file.
 type Control struct {
-	Address    string          `toml:"address"` // host:port of a control service; empty: there is none
-	Node       string          `toml:"node"`    // who this instance is to it; empty: name
-	Cluster    string          `toml:"cluster"`
-	CA         string          `toml:"ca"`   // files, PEM: by whom the service is vouched for,
-	Cert       string          `toml:"cert"` // and what this instance shows
-	Key        string          `toml:"key"`
-	ServerName string          `toml:"server_name"` // in the service's certificate; empty: the host of address
-	Plaintext  bool            `toml:"plaintext"`   // on loopback, without TLS
-	State      string          `toml:"state"`       // a folder where good versions are kept
-	Pin        []string        `toml:"pin"`         // what of the file no version replaces: "table", "table.key", "list.name"
-	Trial      strict.Duration `toml:"trial"`       // how long a version is on trial; 0 is not at all
-	Margin     float64         `toml:"trial_margin"`
-	Alpha      float64         `toml:"trial_alpha"`
-	Gap        strict.Duration `toml:"gap"`
-	SizeMost   strict.Size     `toml:"size_most"`
-	RetryMost  strict.Duration `toml:"retry_most"`
+	Address    string              `toml:"address"` // host:port of a control service; empty: there is none
+	Node       string              `toml:"node"`    // who this instance is to it; empty: name
+	Cluster    string              `toml:"cluster"`
+	CA         string              `toml:"ca"`   // files, PEM: by whom the service is vouched for,
+	Cert       string              `toml:"cert"` // and what this instance shows
+	Key        string              `toml:"key"`
+	ServerName string              `toml:"server_name"` // in the service's certificate; empty: the host of address
+	Plaintext  bool                `toml:"plaintext"`   // on loopback, without TLS
+	State      string              `toml:"state"`       // a folder where good versions are kept
+	Pin        []string            `toml:"pin"`         // what of the file no version replaces: "table", "table.key", "list.name"
+	Trial      stricttoml.Duration `toml:"trial"`       // how long a version is on trial; 0 is not at all
+	Margin     float64             `toml:"trial_margin"`
+	Alpha      float64             `toml:"trial_alpha"`
+	Gap        stricttoml.Duration `toml:"gap"`
+	SizeMost   stricttoml.Size     `toml:"size_most"`
+	RetryMost  stricttoml.Duration `toml:"retry_most"`
 }
 
 // Tries says whether versions are on trial before they count as good.
@@ -134,11 +134,11 @@
 
 // Connections bounds the connections to clients and endpoints.
 type Connections struct {
-	Clients   int             `toml:"clients"`
-	AtRest    int             `toml:"at_rest"`
-	RestMost  strict.Duration `toml:"rest_most"`
-	RestLeast strict.Duration `toml:"rest_least"`
-	Endpoints int             `toml:"endpoints"`
+	Clients   int                 `toml:"clients"`
+	AtRest    int                 `toml:"at_rest"`
+	RestMost  stricttoml.Duration `toml:"rest_most"`
+	RestLeast stricttoml.Duration `toml:"rest_least"`
+	Endpoints int                 `toml:"endpoints"`
 }
 
 // Requests bounds what the instance takes on.
@@ -151,10 +151,10 @@
 
 // Listener is where clients connect.
 type Listener struct {
-	Name    string      `toml:"name"`
-	Address string      `toml:"address"` // host:port on loopback, or unix:/path
-	Client  string      `toml:"client"`  // whose connections these are; on a unix socket, only where no uid or gid tells
-	Mode    strict.Mode `toml:"mode"`    // of a unix socket
+	Name    string          `toml:"name"`
+	Address string          `toml:"address"` // host:port on loopback, or unix:/path
+	Client  string          `toml:"client"`  // whose connections these are; on a unix socket, only where no uid or gid tells
+	Mode    stricttoml.Mode `toml:"mode"`    // of a unix socket
 }
 
 // Network returns the listener's network and address as package net takes them.
@@ -167,12 +167,12 @@
 
 // Bounds are what one client may do. 0 is no bound.
 type Bounds struct {
-	Weight      float64     `toml:"weight"`
-	Connections int         `toml:"connections"`
-	Open        int         `toml:"open_requests"`
-	Bytes       strict.Size `toml:"bytes_held"`
-	Rate        float64     `toml:"requests_per_second"`
-	Burst       float64     `toml:"burst"` // requests at once; 0 is a tenth of a second's
+	Weight      float64         `toml:"weight"`
+	Connections int             `toml:"connections"`
+	Open        int             `toml:"open_requests"`
+	Bytes       stricttoml.Size `toml:"bytes_held"`
+	Rate        float64         `toml:"requests_per_second"`
+	Burst       float64         `toml:"burst"` // requests at once; 0 is a tenth of a second's
 }
 
 // Share returns the bounds as the decisions between clients take them.
@@ -195,14 +195,14 @@
 
 // Fleet says what this instance is among others.
 type Fleet struct {
-	Instances      int             `toml:"instances"`
-	Position       int             `toml:"position"`
-	Zone           string          `toml:"zone"`
-	Zones          []string        `toml:"zones"`
-	Machines       []string        `toml:"machines"`
-	KeepAlive      strict.Duration `toml:"keep_alive"`
-	OverShareWorth float64         `toml:"over_share_worth"`
-	WorthBy        string          `toml:"worth_by"` // "request" or "work"
+	Instances      int                 `toml:"instances"`
+	Position       int                 `toml:"position"`
+	Zone           string              `toml:"zone"`
+	Zones          []string            `toml:"zones"`
+	Machines       []string            `toml:"machines"`
+	KeepAlive      stricttoml.Duration `toml:"keep_alive"`
+	OverShareWorth float64             `toml:"over_share_worth"`
+	WorthBy        string              `toml:"worth_by"` // "request" or "work"
 
 	// Of a fleet of many quiet instances (package subset).
 	Subset     int     `toml:"subset"`      // endpoints that this instance deals with, at least; 0 is all
@@ -224,14 +224,14 @@
 
 // Class is a class of requests.
 type Class struct {
-	Name      string          `toml:"name"`
-	Repeat    string          `toml:"repeat"` // "safe", "keyed" or "unsafe"
-	Group     string          `toml:"group"`  // keyed only: "all", "zone" or "cell"
-	Window    strict.Duration `toml:"window"` // keyed only
-	Aim       strict.Duration `toml:"aim"`
-	GiveUp    strict.Duration `toml:"give_up"`
-	Worth     *float64        `toml:"worth"`
-	LateWorth float64         `toml:"late_worth"`
+	Name      string              `toml:"name"`
+	Repeat    string              `toml:"repeat"` // "safe", "keyed" or "unsafe"
+	Group     string              `toml:"group"`  // keyed only: "all", "zone" or "cell"
+	Window    stricttoml.Duration `toml:"window"` // keyed only
+	Aim       stricttoml.Duration `toml:"aim"`
+	GiveUp    stricttoml.Duration `toml:"give_up"`
+	Worth     *float64            `toml:"worth"`
+	LateWorth float64             `toml:"late_worth"`
 }
 
 // Tenant is one of those who share the service.
@@ -244,17 +244,17 @@
 
 // Attempts says what may be tried for a request.
 type Attempts struct {
-	Most         int             `toml:"most"`
-	Cancel       bool            `toml:"cancel"`
-	SecondCopies bool            `toml:"second_copies"`
-	RetryBudget  float64         `toml:"retry_budget"` // of a pool that says nothing of its own
-	DialTimeout  strict.Duration `toml:"dial_timeout"`
+	Most         int                 `toml:"most"`
+	Cancel       bool                `toml:"cancel"`
+	SecondCopies bool                `toml:"second_copies"`
+	RetryBudget  float64             `toml:"retry_budget"` // of a pool that says nothing of its own
+	DialTimeout  stricttoml.Duration `toml:"dial_timeout"`
 }
 
 // Refusals says what a client is told that is to try again.
 type Refusals struct {
-	RetryAfter     bool            `toml:"retry_after"`
-	RetryAfterMost strict.Duration `toml:"retry_after_most"`
+	RetryAfter     bool                `toml:"retry_after"`
+	RetryAfterMost stricttoml.Duration `toml:"retry_after_most"`
 }
 
 // Probes says what endpoints tell of their load.
@@ -290,34 +290,34 @@
 
 // Peers says how this instance and the others know of one another, and what they decide together.
 type Peers struct {
-	On       bool            `toml:"on"`
-	Fleet    string          `toml:"fleet"`   // of another name is another fleet: they do not mix
-	Address  string          `toml:"address"` // host:port, UDP and TCP, that the others reach this instance at
-	Beyond   bool            `toml:"beyond_loopback"`
-	Join     []string        `toml:"join"`    // addresses of some others
-	Lenders  []string        `toml:"lenders"` // names of instances, of which one lends
-	Lends    []string        `toml:"lends"`   // what is decided together
-	Loan     strict.Duration `toml:"loan"`
-	Every    strict.Duration `toml:"every"`
-	Lease    strict.Duration `toml:"lease"`
-	Ready    float64         `toml:"ready"` // the part of each budget that instances have without a loan
-	Drift    float64         `toml:"drift"`
-	Ways     []string        `toml:"ways"`  // "ADDRESS=VIA": an instance's address, and where it is reached from here
-	SpentLog string          `toml:"spent"` // a file: a line for each unit that is spent of a budget
+	On       bool                `toml:"on"`
+	Fleet    string              `toml:"fleet"`   // of another name is another fleet: they do not mix
+	Address  string              `toml:"address"` // host:port, UDP and TCP, that the others reach this instance at
+	Beyond   bool                `toml:"beyond_loopback"`
+	Join     []string            `toml:"join"`    // addresses of some others
+	Lenders  []string            `toml:"lenders"` // names of instances, of which one lends
+	Lends    []string            `toml:"lends"`   // what is decided together
+	Loan     stricttoml.Duration `toml:"loan"`
+	Every    stricttoml.Duration `toml:"every"`
+	Lease    stricttoml.Duration `toml:"lease"`
+	Ready    float64             `toml:"ready"` // the part of each budget that instances have without a loan
+	Drift    float64             `toml:"drift"`
+	Ways     []string            `toml:"ways"`  // "ADDRESS=VIA": an instance's address, and where it is reached from here
+	SpentLog string              `toml:"spent"` // a file: a line for each unit that is spent of a budget
 }
 
 // Work says how machines are taken out for work, in an order that the instances settle among themselves.
 type Work struct {
-	On    bool            `toml:"on"`
-	State string          `toml:"state"` // a file, of an instance that peers.lenders names: its part of the order's log
-	Most  int             `toml:"most"`
-	Zone  int             `toml:"zone"`
-	Cell  int             `toml:"cell"`
-	Kind  int             `toml:"machine"`
-	Ahead int             `toml:"ahead"`
-	Room  float64         `toml:"room"`
-	Lease strict.Duration `toml:"lease"`
-	Quiet strict.Duration `toml:"quiet"`
+	On    bool                `toml:"on"`
+	State string              `toml:"state"` // a file, of an instance that peers.lenders names: its part of the order's log
+	Most  int                 `toml:"most"`
+	Zone  int                 `toml:"zone"`
+	Cell  int                 `toml:"cell"`
+	Kind  int                 `toml:"machine"`
+	Ahead int                 `toml:"ahead"`
+	Room  float64             `toml:"room"`
+	Lease stricttoml.Duration `toml:"lease"`
+	Quiet stricttoml.Duration `toml:"quiet"`
 }
 
 // Settles returns the settings by which the order is settled; nil is that it is not.
@@ -365,12 +365,12 @@
 
 // Rules are the figures of the rules that must hold (PROTOCOL).
 type Rules struct {
-	DrainGrace   strict.Duration `toml:"drain_grace"`
-	ColdFrom     float64         `toml:"cold_from"`
-	WarmAfter    strict.Duration `toml:"warm_after"`
-	FallMultiple float64         `toml:"fall_multiple"`
-	FallAfter    strict.Duration `toml:"fall_after"`
-	AskWithin    strict.Duration `toml:"ask_within"`
+	DrainGrace   stricttoml.Duration `toml:"drain_grace"`
+	ColdFrom     float64             `toml:"cold_from"`
+	WarmAfter    stricttoml.Duration `toml:"warm_after"`
+	FallMultiple float64             `toml:"fall_multiple"`
+	FallAfter    stricttoml.Duration `toml:"fall_after"`
+	AskWithin    stricttoml.Duration `toml:"ask_within"`
 }
 
 // Prices is what is taken off the service for its cost.
@@ -393,24 +393,24 @@
 func defaults() Config {
 	return Config{
 		Name:      "dunlinsaild",
-		Process:   Process{Memory: strict.Size{Bytes: 256 << 20}, Descriptors: 4096},
+		Process:   Process{Memory: stricttoml.Size{Bytes: 256 << 20}, Descriptors: 4096},
 		Discovery: Discovery{Mode: "watch"},
-		Takeover:  Takeover{ReadyWithin: strict.Duration{Duration: 10 * time.Second}, DrainWithin: strict.Duration{Duration: 5 * time.Second}},
-		Record:    Record{Sample: 1, SegmentRows: 20_000, SegmentAge: strict.Duration{Duration: 10 * time.Second}, Keep: strict.Size{Bytes: 1 << 30}},
-		Control: Control{Pin: []string{"listener", "fleet.zone", "fleet.position"}, Trial: strict.Duration{Duration: 30 * time.Second}, Margin: 0.01, Alpha: 0.001,
-			Gap: strict.Duration{Duration: time.Second}, SizeMost: strict.Size{Bytes: 4 << 20}, RetryMost: strict.Duration{Duration: 30 * time.Second}},
-		Connections: Connections{RestMost: strict.Duration{Duration: 15 * time.Second}, RestLeast: strict.Duration{Duration: 100 * time.Millisecond}},
+		Takeover:  Takeover{ReadyWithin: stricttoml.Duration{Duration: 10 * time.Second}, DrainWithin: stricttoml.Duration{Duration: 5 * time.Second}},
+		Record:    Record{Sample: 1, SegmentRows: 20_000, SegmentAge: stricttoml.Duration{Duration: 10 * time.Second}, Keep: stricttoml.Size{Bytes: 1 << 30}},
+		Control: Control{Pin: []string{"listener", "fleet.zone", "fleet.position"}, Trial: stricttoml.Duration{Duration: 30 * time.Second}, Margin: 0.01, Alpha: 0.001,
+			Gap: stricttoml.Duration{Duration: time.Second}, SizeMost: stricttoml.Size{Bytes: 4 << 20}, RetryMost: stricttoml.Duration{Duration: 30 * time.Second}},
+		Connections: Connections{RestMost: stricttoml.Duration{Duration: 15 * time.Second}, RestLeast: stricttoml.Duration{Duration: 100 * time.Millisecond}},
 		Requests:    Requests{Open: 2000, InFlightLeast: 4, InFlightMost: 1000},
-		Fleet:       Fleet{Instances: 1, KeepAlive: strict.Duration{Duration: 15 * time.Second}, OverShareWorth: 1, WorthBy: "request"},
-		Attempts:    Attempts{Most: 3, Cancel: true, SecondCopies: true, RetryBudget: balancer.RetryShare, DialTimeout: strict.Duration{Duration: 250 * time.Millisecond}},
-		Refusals:    Refusals{RetryAfter: true, RetryAfterMost: strict.Duration{Duration: time.Second}},
+		Fleet:       Fleet{Instances: 1, KeepAlive: stricttoml.Duration{Duration: 15 * time.Second}, OverShareWorth: 1, WorthBy: "request"},
+		Attempts:    Attempts{Most: 3, Cancel: true, SecondCopies: true, RetryBudget: balancer.RetryShare, DialTimeout: stricttoml.Duration{Duration: 250 * time.Millisecond}},
+		Refusals:    Refusals{RetryAfter: true, RetryAfterMost: stricttoml.Duration{Duration: time.Second}},
 		Probes:      Probes{Report: "none"},
 		Overload:    overloadShipped(),
-		Peers: Peers{Fleet: "dunlinsail", Lends: []string{"further", "probes", "tenants", "level", "suspects"}, Loan: strict.Duration{Duration: 2 * time.Second},
-			Every: strict.Duration{Duration: 250 * time.Millisecond}, Lease: strict.Duration{Duration: time.Second}, Ready: 0.1, Drift: 0.005},
-		Work: Work{Most: 1, Zone: 1, Cell: 1, Ahead: 4, Room: 0.2, Lease: strict.Duration{Duration: 2 * time.Second}, Quiet: strict.Duration{Duration: 5 * time.Second}},
-		Rules: Rules{DrainGrace: strict.Duration{Duration: 250 * time.Millisecond}, ColdFrom: 0.2, WarmAfter: strict.Duration{Duration: 20 * time.Second},
-			FallMultiple: 2.5, FallAfter: strict.Duration{Duration: 2 * time.Second}, AskWithin: strict.Duration{Duration: 10 * time.Second}},
+		Peers: Peers{Fleet: "dunlinsail", Lends: []string{"further", "probes", "tenants", "level", "suspects"}, Loan: stricttoml.Duration{Duration: 2 * time.Second},
+			Every: stricttoml.Duration{Duration: 250 * time.Millisecond}, Lease: stricttoml.Duration{Duration: time.Second}, Ready: 0.1, Drift: 0.005},
+		Work: Work{Most: 1, Zone: 1, Cell: 1, Ahead: 4, Room: 0.2, Lease: stricttoml.Duration{Duration: 2 * time.Second}, Quiet: stricttoml.Duration{Duration: 5 * time.Second}},
+		Rules: Rules{DrainGrace: stricttoml.Duration{Duration: 250 * time.Millisecond}, ColdFrom: 0.2, WarmAfter: stricttoml.Duration{Duration: 20 * time.Second},
+			FallMultiple: 2.5, FallAfter: stricttoml.Duration{Duration: 2 * time.Second}, AskWithin: stricttoml.Duration{Duration: 10 * time.Second}},
 		Goal:  Goal{Whole: 1},
 		Paths: Paths{EncodedSlash: "refuse"},
 	}
@@ -428,13 +428,13 @@
 // Parse checks a file's text. Its error is strict.Errors.
 func Parse(text []byte) (*Config, error) {
 	c := defaults()
-	lines, err := strict.Decode(text, &c)
+	lines, err := stricttoml.Decode(text, &c)
 	if err != nil {
 		return nil, err
 	}
 	c.Text = text
 	c.fill()
-	k := &check{strict.Check{Lines: lines}}
+	k := &check{stricttoml.Check{Lines: lines}}
 	k.config(&c)
 	if err := k.Err(); err != nil {
 		return nil, err
@@ -486,7 +486,7 @@
 }
 
 // check gathers what is wrong.
-type check struct{ strict.Check }
+type check struct{ stricttoml.Check }
 
 const (
 	ownDescriptors   = 32 // neither clients' nor endpoints': streams, listeners, the runtime, discovery, takeover
@@ -502,7 +502,7 @@
 
 	k.routes(c)
 	k.That(len(c.Routes) > 0 || hostPort(c.Discovery.Address, 1), "discovery.address", "%q is no host:port with a port in 1..65535", c.Discovery.Address)
-	subscribe := strict.Word(&k.Check, "discovery.mode", c.Discovery.Mode, map[string]bool{"watch": false, "ask": true})
+	subscribe := stricttoml.Word(&k.Check, "discovery.mode", c.Discovery.Mode, map[string]bool{"watch": false, "ask": true})
 
 	k.That(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
 
@@ -542,7 +542,7 @@
 		seen[name] = true
 	}
 	for i, name := range p.Lends {
-		strict.Word(&k.Check, "peers.lends", name, uses)
+		stricttoml.Word(&k.Check, "peers.lends", name, uses)
 		k.That(!slices.Contains(p.Lends[:i], name), "peers.lends", "%q is named twice", name)
 	}
 	for _, way := range p.Ways {
@@ -764,7 +764,7 @@
 	s.Settings = balancer.Settings{
 		Balancers: f.Instances, Position: f.Position, Zone: zone, Zones: len(f.Zones), Kinds: len(f.Machines),
 		Subscribe: subscribe, RetryShare: a.RetryBudget, OverShareWorth: f.OverShareWorth,
-		WorthByWork: strict.Word(&k.Check, "fleet.worth_by", f.WorthBy, map[string]bool{"request": false, "work": true}),
+		WorthByWork: stricttoml.Word(&k.Check, "fleet.worth_by", f.WorthBy, map[string]bool{"request": false, "work": true}),
 		Limits: balancer.Limits{Cancel: a.Cancel, Probes: c.Probes.On, SecondCopies: a.SecondCopies,
 			RetryAfter: c.Refusals.RetryAfter, MaxAttempts: a.Most, MaxOpen: c.Requests.Open,
 			MaxRetryAfter: c.Refusals.RetryAfterMost.Micros(), DialTimeout: a.DialTimeout.Micros()},
@@ -807,7 +807,7 @@
 // reports reads what endpoints tell of their load.
 func (k *check) reports(c *Config) {
 	s := &c.Site
-	s.OnAnswers = strict.Word(&k.Check, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
+	s.OnAnswers = stricttoml.Word(&k.Check, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
 	if c.Probes.Report == "none" {
 		k.That(len(c.Probes.Fields) == 0, "probes.fields", "mean nothing while probes.report is \"none\"")
 		return
@@ -816,7 +816,7 @@
 	for i, name := range c.Probes.Fields {
 		k.That(!slices.Contains(c.Probes.Fields[:i], name), "probes.fields", "%q is named twice", name)
 		s.Fields = append(s.Fields, name)
-		s.Settings.Fields = append(s.Settings.Fields, strict.Word(&k.Check, "probes.fields", name, fields))
+		s.Settings.Fields = append(s.Settings.Fields, stricttoml.Word(&k.Check, "probes.fields", name, fields))
 	}
 }
 
@@ -831,10 +831,10 @@
 			"%q must be a part of a path: neither empty nor with / ? # %% or a space", cl.Name)
 		k.That(!slices.Contains(s.Classes, cl.Name), at("name"), "%q is named twice", cl.Name)
 		to := balancer.Class{Name: cl.Name, Aim: cl.Aim.Micros(), GiveUp: cl.GiveUp.Micros(), Worth: 1, LateWorth: cl.LateWorth}
-		to.Repeat = strict.Word(&k.Check, at("repeat"), cl.Repeat, map[string]balancer.Repeat{
+		to.Repeat = stricttoml.Word(&k.Check, at("repeat"), cl.Repeat, map[string]balancer.Repeat{
 			"safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe})
 		if cl.Repeat == "keyed" {
-			to.Group = strict.Word(&k.Check, at("group"), cl.Group, map[string]balancer.Group{
+			to.Group = stricttoml.Word(&k.Check, at("group"), cl.Group, map[string]balancer.Group{
 				"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell})
 			to.Window = cl.Window.Micros()
 			k.That(cl.Window.Duration > 0, at("window"), "is missing: for how long the group drops a repeat of a key")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // least is the shortest file that makes sense.
@@ -141,14 +141,14 @@
 	} {
 		text := strings.Replace(least, tc.old, tc.new, 1)
 		_, err := Parse([]byte(text))
-		var all strict.Errors
+		var all stricttoml.Errors
 		if !errors.As(err, &all) || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%q in place of %q:\n got %v\nwant %s", tc.new, tc.old, err, tc.want)
 		}
 	}
 	text := strings.NewReplacer(`aim = "250ms"`, `aim = "0s"`, `client = "desk"`, `client = "disk"`, `:8500`, ``).Replace(least)
 	_, err := Parse([]byte(text))
-	var all strict.Errors
+	var all stricttoml.Errors
 	if !errors.As(err, &all) || len(all) != 3 || all[0].Line != 3 || all[1].Line != 7 || all[2].Line != 13 {
 		t.Errorf("three mistakes: %v", err)
 	}
--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -15,7 +15,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Resource is a part of a version of the configuration, as a control service sends it: a table of the file, or one of a
@@ -183,7 +183,7 @@
 		return nil, err
 	}
 	c, err := Parse(text)
-	var wrong strict.Errors
+	var wrong stricttoml.Errors
 	if errors.As(err, &wrong) {
 		return nil, m.explain(text, wrong)
 	}
@@ -294,8 +294,8 @@
 const mistakesMost = 8
 
 // explain tells mistakes by the resources that they are in.
-func (m *merge) explain(text []byte, wrong strict.Errors) error {
-	places := strict.Places(text)
+func (m *merge) explain(text []byte, wrong stricttoml.Errors) error {
+	places := stricttoml.Places(text)
 	var lines []string
 	for i, e := range wrong {
 		if i == mistakesMost {
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -11,7 +11,7 @@
 
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/message"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Pool is a named set of endpoints. Exactly one of Endpoints, File and Discovery tells which they are.
@@ -70,15 +70,15 @@
 	ID       string `toml:"id"`  // "header:NAME"
 	Deadline string `toml:"deadline"`
 
-	Tries      int             `toml:"tries"`
-	BodyMost   strict.Size     `toml:"body_most"` // 0 is no bound
-	BodyHold   strict.Size     `toml:"body_hold"`
-	AnswerMost strict.Size     `toml:"answer_most"`
-	AnswerHold strict.Size     `toml:"answer_hold"`
-	Idle       strict.Duration `toml:"idle"`
-	Whole      strict.Duration `toml:"whole"`
-	Errors     []int           `toml:"errors"` // statuses that count as an error of the endpoint
-	Full       []int           `toml:"full"`   // and, with Retry-After, as turned away
+	Tries      int                 `toml:"tries"`
+	BodyMost   stricttoml.Size     `toml:"body_most"` // 0 is no bound
+	BodyHold   stricttoml.Size     `toml:"body_hold"`
+	AnswerMost stricttoml.Size     `toml:"answer_most"`
+	AnswerHold stricttoml.Size     `toml:"answer_hold"`
+	Idle       stricttoml.Duration `toml:"idle"`
+	Whole      stricttoml.Duration `toml:"whole"`
+	Errors     []int               `toml:"errors"` // statuses that count as an error of the endpoint
+	Full       []int               `toml:"full"`   // and, with Retry-After, as turned away
 
 	ToHost      string `toml:"to_host"`
 	StripPrefix string `toml:"strip_prefix"`
@@ -117,7 +117,7 @@
 		return
 	}
 	if len(c.Classes) == 0 {
-		aim, end := strict.Duration{Duration: 10 * time.Second}, strict.Duration{Duration: 30 * time.Second}
+		aim, end := stricttoml.Duration{Duration: 10 * time.Second}, stricttoml.Duration{Duration: 30 * time.Second}
 		c.Classes = []Class{{Name: ReadClass, Repeat: "safe", Aim: aim, GiveUp: end}, {Name: WriteClass, Repeat: "unsafe", Aim: aim, GiveUp: end}}
 	}
 	if len(c.Clients) == 0 && c.Others == nil {
@@ -131,12 +131,12 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		r.Forwarded = or(r.Forwarded, Forwarding[0])
-		for size, without := range map[*strict.Size]int64{&r.BodyHold: 64 << 10, &r.AnswerHold: 64 << 10} {
+		for size, without := range map[*stricttoml.Size]int64{&r.BodyHold: 64 << 10, &r.AnswerHold: 64 << 10} {
 			if size.Bytes == 0 {
 				size.Bytes = without
 			}
 		}
-		for time, without := range map[*strict.Duration]strict.Duration{&r.Idle: {Duration: 30 * time.Second}, &r.Whole: {Duration: 10 * time.Minute}} {
+		for time, without := range map[*stricttoml.Duration]stricttoml.Duration{&r.Idle: {Duration: 30 * time.Second}, &r.Whole: {Duration: 10 * time.Minute}} {
 			if time.Duration == 0 {
 				*time = without
 			}
@@ -162,7 +162,7 @@
 
 // routes checks pools and routes, and makes the table.
 func (k *check) routes(c *Config) {
-	strict.Word(&k.Check, "paths.encoded_slash", c.Paths.EncodedSlash, map[string]bool{"refuse": true, "keep": true})
+	stricttoml.Word(&k.Check, "paths.encoded_slash", c.Paths.EncodedSlash, map[string]bool{"refuse": true, "keep": true})
 	pools := map[string]bool{}
 	for i := range c.Pools {
 		p := &c.Pools[i]
@@ -272,7 +272,7 @@
 		k.That(message.IsToken(name), at("headers"), "%q is no name of a header", name)
 	}
 	k.That(r.Tries >= 0, at("tries"), "%d is negative", r.Tries)
-	for key, size := range map[string]strict.Size{"body_hold": r.BodyHold, "answer_hold": r.AnswerHold} {
+	for key, size := range map[string]stricttoml.Size{"body_hold": r.BodyHold, "answer_hold": r.AnswerHold} {
 		k.That(size.Bytes <= HoldMost, at(key), "over 1MiB: what is larger streams")
 	}
 	k.That(r.AnswerMost.Bytes == 0 || r.AnswerMost.Bytes >= r.AnswerHold.Bytes, at("answer_most"), "is under answer_hold")
@@ -289,7 +289,7 @@
 		k.That(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
 			"%q is no path in normal form without a / at its end", r.AddPrefix)
 	}
-	strict.Word(&k.Check, at("forwarded"), r.Forwarded, map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
+	stricttoml.Word(&k.Check, at("forwarded"), r.Forwarded, map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
 	k.That(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"), "means nothing with forwarded = %q", r.Forwarded)
 	for key, e := range map[string]*Edits{"request": &r.Request, "answer": &r.Answer} {
 		k.edits(at(key), e)
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 	"errors"
 	"os"
 	"reflect"
@@ -92,7 +92,7 @@
 		{"[[listener]]", "[paths]\nencoded_slash = \"yes\"\n[[listener]]", "line 3: paths.encoded_slash: \"yes\" is none of"},
 	} {
 		_, err := Parse([]byte(strings.Replace(leastRoutes, tc.old, tc.new, 1)))
-		var all strict.Errors
+		var all stricttoml.Errors
 		if !errors.As(err, &all) || !strings.Contains(err.Error(), tc.want) {
 			t.Errorf("%q in place of %q:\n got %v\nwant %s", tc.new, tc.old, err, tc.want)
 		}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -8,14 +8,14 @@
 
 	"github.com/invopop/jsonschema"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // units are the types that stand as texts in a file, and what they look like.
 var units = map[reflect.Type]string{
-	reflect.TypeFor[strict.Duration](): `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`,
-	reflect.TypeFor[strict.Size]():     `^[0-9]+ *(B|KiB|MiB|GiB)$`,
-	reflect.TypeFor[strict.Mode]():     `^[0-7]{1,4}$`,
+	reflect.TypeFor[stricttoml.Duration](): `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`,
+	reflect.TypeFor[stricttoml.Size]():     `^[0-9]+ *(B|KiB|MiB|GiB)$`,
+	reflect.TypeFor[stricttoml.Mode]():     `^[0-7]{1,4}$`,
 }
 
 // Schema returns the JSON Schema (2020-12) of the resources that a version may hold, as Resource is written in JSON. It says
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -9,7 +9,7 @@
 
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Size is how large a fleet is.
@@ -57,7 +57,7 @@
 	run.Rate = s.Draw(sc.Seed).Rate
 	run.Length = time.Duration(float64(sc.Stories) / run.Rate * float64(time.Second)).Round(10 * time.Millisecond)
 	run.Length = min(max(run.Length, time.Second), 10*time.Minute)
-	s.Length = strict.Duration{Duration: run.Length}
+	s.Length = stricttoml.Duration{Duration: run.Length}
 	s.Events, s.Shape = nil, nil
 	j, err := sc.Variant.Job(s, sc.Variant, sc.Seed)
 	if err != nil {
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -11,7 +11,7 @@
 
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Hunt says how a worst case is looked for.
@@ -145,7 +145,7 @@
 }
 
 // span is a time that is settled.
-func at(d time.Duration) *strict.Span { return &strict.Span{From: d, To: d} }
+func at(d time.Duration) *stricttoml.Span { return &stricttoml.Span{From: d, To: d} }
 
 // kinds are the events that are drawn, with the sizes that they may have.
 var kinds = []struct {
@@ -182,7 +182,7 @@
 	case "pause":
 		e.For = at(part(0.002, 0.05))
 	case "neighbour":
-		e.Every = strict.Duration{Duration: part(0.01, 0.1)}
+		e.Every = stricttoml.Duration{Duration: part(0.01, 0.1)}
 	}
 	switch x.rng.IntN(4) {
 	case 0:
@@ -215,7 +215,7 @@
 	}
 	i := x.rng.IntN(len(s.Events))
 	e := &s.Events[i]
-	stretch := func(span *strict.Span) {
+	stretch := func(span *stricttoml.Span) {
 		if span != nil {
 			d := time.Duration(float64(span.From) * math.Exp(0.5*x.rng.NormFloat64())).Round(10 * time.Millisecond)
 			d = min(max(d, 10*time.Millisecond), s.Length.Duration*9/10)
@@ -299,7 +299,7 @@
 		}
 	}
 	if last := lastEnd(s); last+5*time.Second < s.Length.Duration {
-		add(func(s *scenario.Scenario) { s.Length = strict.Duration{Duration: last + 5*time.Second} })
+		add(func(s *scenario.Scenario) { s.Length = stricttoml.Duration{Duration: last + 5*time.Second} })
 	}
 	if first := firstBegin(s); first > 6*time.Second {
 		add(func(s *scenario.Scenario) { // begin sooner
--- a/internal/model/scenario/scenario.go
+++ b/internal/model/scenario/scenario.go
@@ -14,15 +14,15 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 // Scenario is what a file says.
 type Scenario struct {
-	Name   string          `toml:"name"`
-	Base   string          `toml:"base,omitempty"` // another scenario, from which everything comes that is not said here
-	About  string          `toml:"about,omitempty"`
-	Length strict.Duration `toml:"length"` // clients begin new stories for so long
+	Name   string              `toml:"name"`
+	Base   string              `toml:"base,omitempty"` // another scenario, from which everything comes that is not said here
+	About  string              `toml:"about,omitempty"`
+	Length stricttoml.Duration `toml:"length"` // clients begin new stories for so long
 
 	Fleet     Fleet     `toml:"fleet"`
 	Network   Network   `toml:"network"`
@@ -51,71 +51,71 @@
 
 // Network is the way between clients, instances and endpoints.
 type Network struct {
-	Client     strict.Duration `toml:"client"`  // one way, between a client and its instance
-	Within     strict.Duration `toml:"within"`  // one way, within a zone
-	Between    strict.Duration `toml:"between"` // one way, between zones
-	Jitter     float64         `toml:"jitter"`  // a part of a delay that is added at random, as a mean
-	Loss       float64         `toml:"loss"`    // part of the messages that are lost and sent again
-	Retransmit strict.Duration `toml:"retransmit"`
+	Client     stricttoml.Duration `toml:"client"`  // one way, between a client and its instance
+	Within     stricttoml.Duration `toml:"within"`  // one way, within a zone
+	Between    stricttoml.Duration `toml:"between"` // one way, between zones
+	Jitter     float64             `toml:"jitter"`  // a part of a delay that is added at random, as a mean
+	Loss       float64             `toml:"loss"`    // part of the messages that are lost and sent again
+	Retransmit stricttoml.Duration `toml:"retransmit"`
 }
 
 // Host is what an instance costs by itself.
 type Host struct {
-	Overhead strict.Duration `toml:"overhead"` // that a request spends in an instance, on its way out and back
-	Slack    strict.Duration `toml:"slack"`    // by which timers and schedulers are late, as a mean
+	Overhead stricttoml.Duration `toml:"overhead"` // that a request spends in an instance, on its way out and back
+	Slack    stricttoml.Duration `toml:"slack"`    // by which timers and schedulers are late, as a mean
 }
 
 // Discovery is where instances have their lists from.
 type Discovery struct {
-	Add    *strict.Span    `toml:"add"`    // until it is told that an endpoint is there
-	Drain  *strict.Span    `toml:"drain"`  // that one drains
-	Gone   *strict.Span    `toml:"gone"`   // that a process has ended
-	Silent *strict.Span    `toml:"silent"` // that a machine has vanished
-	Spread strict.Duration `toml:"spread"` // by which instances hear at different times
+	Add    *stricttoml.Span    `toml:"add"`    // until it is told that an endpoint is there
+	Drain  *stricttoml.Span    `toml:"drain"`  // that one drains
+	Gone   *stricttoml.Span    `toml:"gone"`   // that a process has ended
+	Silent *stricttoml.Span    `toml:"silent"` // that a machine has vanished
+	Spread stricttoml.Duration `toml:"spread"` // by which instances hear at different times
 }
 
 // Clocks says how wrong the clocks of instances are.
 type Clocks struct {
-	Skew  strict.Duration `toml:"skew,omitempty"`  // either way, at most
-	Drift float64         `toml:"drift,omitempty"` // either way, at most, as a part of time
+	Skew  stricttoml.Duration `toml:"skew,omitempty"`  // either way, at most
+	Drift float64             `toml:"drift,omitempty"` // either way, at most, as a part of time
 }
 
 // Nodes are endpoints of one kind.
 type Nodes struct {
-	Kind       string          `toml:"kind,omitempty"`
-	Count      int             `toml:"count,omitempty"`
-	Zones      []string        `toml:"zones,omitempty"` // over which they are spread; none is all
-	Cores      int             `toml:"cores,omitempty"`
-	Speed      Range           `toml:"speed,omitempty"`
-	Queue      int             `toml:"queue,omitempty"`
-	ColdFrom   float64         `toml:"cold_from,omitempty"`
-	ColdFor    strict.Duration `toml:"cold_for,omitempty"`
-	Fall       float64         `toml:"fall,omitempty"`
-	FallAfter  strict.Duration `toml:"fall_after,omitempty"`
-	Cancel     string          `toml:"cancel,omitempty"` // what becomes of requests given up: "none", "queued" or "all" of them end
-	Errors     float64         `toml:"errors,omitempty"`
-	CrowdAt    float64         `toml:"crowd_at,omitempty"`
-	Crowd      float64         `toml:"crowd,omitempty"`
-	PauseEvery strict.Duration `toml:"pause_every,omitempty"`
-	PauseFor   strict.Duration `toml:"pause_for,omitempty"`
-	ProbeWork  strict.Duration `toml:"probe_work,omitempty"`
-	Handshake  strict.Duration `toml:"handshake,omitempty"`
-	Conns      int             `toml:"connections,omitempty"`
-	Idle       strict.Duration `toml:"idle,omitempty"`
-	Cell       int             `toml:"cell,omitempty"` // endpoints of a group that drops repeats of a key together
-	Report     strict.Duration `toml:"report_every,omitempty"`
-	Noise      float64         `toml:"report_noise,omitempty"`
-	Cold       bool            `toml:"cold,omitempty"` // they come up as the run begins; else they were always up
+	Kind       string              `toml:"kind,omitempty"`
+	Count      int                 `toml:"count,omitempty"`
+	Zones      []string            `toml:"zones,omitempty"` // over which they are spread; none is all
+	Cores      int                 `toml:"cores,omitempty"`
+	Speed      Range               `toml:"speed,omitempty"`
+	Queue      int                 `toml:"queue,omitempty"`
+	ColdFrom   float64             `toml:"cold_from,omitempty"`
+	ColdFor    stricttoml.Duration `toml:"cold_for,omitempty"`
+	Fall       float64             `toml:"fall,omitempty"`
+	FallAfter  stricttoml.Duration `toml:"fall_after,omitempty"`
+	Cancel     string              `toml:"cancel,omitempty"` // what becomes of requests given up: "none", "queued" or "all" of them end
+	Errors     float64             `toml:"errors,omitempty"`
+	CrowdAt    float64             `toml:"crowd_at,omitempty"`
+	Crowd      float64             `toml:"crowd,omitempty"`
+	PauseEvery stricttoml.Duration `toml:"pause_every,omitempty"`
+	PauseFor   stricttoml.Duration `toml:"pause_for,omitempty"`
+	ProbeWork  stricttoml.Duration `toml:"probe_work,omitempty"`
+	Handshake  stricttoml.Duration `toml:"handshake,omitempty"`
+	Conns      int                 `toml:"connections,omitempty"`
+	Idle       stricttoml.Duration `toml:"idle,omitempty"`
+	Cell       int                 `toml:"cell,omitempty"` // endpoints of a group that drops repeats of a key together
+	Report     stricttoml.Duration `toml:"report_every,omitempty"`
+	Noise      float64             `toml:"report_noise,omitempty"`
+	Cold       bool                `toml:"cold,omitempty"` // they come up as the run begins; else they were always up
 }
 
 // Class is a kind of request, named as in the settings.
 type Class struct {
-	Name  string          `toml:"name,omitempty"`
-	Share float64         `toml:"share,omitempty"`
-	Work  strict.Duration `toml:"work,omitempty"` // mean, on a core of speed 1
-	Dist  string          `toml:"dist,omitempty"` // "lognormal", "exponential" or "fixed"
-	CV    float64         `toml:"cv,omitempty"`
-	Noise float64         `toml:"noise,omitempty"` // of one attempt against another of the same request, as a coefficient of variation
+	Name  string              `toml:"name,omitempty"`
+	Share float64             `toml:"share,omitempty"`
+	Work  stricttoml.Duration `toml:"work,omitempty"` // mean, on a core of speed 1
+	Dist  string              `toml:"dist,omitempty"` // "lognormal", "exponential" or "fixed"
+	CV    float64             `toml:"cv,omitempty"`
+	Noise float64             `toml:"noise,omitempty"` // of one attempt against another of the same request, as a coefficient of variation
 }
 
 // Tenant is whose request it is, named as in the settings.
@@ -126,39 +126,39 @@
 
 // Clients are who asks.
 type Clients struct {
-	Load       float64      `toml:"load,omitempty"` // of what all nodes can do once warm; or
-	Rate       float64      `toml:"rate,omitempty"` // stories a second
-	Processes  int          `toml:"processes"`
-	Retries    [2]int       `toml:"retries"`
-	TryShare   Range        `toml:"try_share"`
-	Backoff    *strict.Span `toml:"backoff"`
-	Honour     float64      `toml:"honour_retry_after"`
-	Impatient  float64      `toml:"impatient"`
-	MarksRetry bool         `toml:"marks_retry,omitempty"`
-	FreshKeys  float64      `toml:"fresh_keys,omitempty"`
-	Objects    int          `toml:"objects"` // that requests are about
+	Load       float64          `toml:"load,omitempty"` // of what all nodes can do once warm; or
+	Rate       float64          `toml:"rate,omitempty"` // stories a second
+	Processes  int              `toml:"processes"`
+	Retries    [2]int           `toml:"retries"`
+	TryShare   Range            `toml:"try_share"`
+	Backoff    *stricttoml.Span `toml:"backoff"`
+	Honour     float64          `toml:"honour_retry_after"`
+	Impatient  float64          `toml:"impatient"`
+	MarksRetry bool             `toml:"marks_retry,omitempty"`
+	FreshKeys  float64          `toml:"fresh_keys,omitempty"`
+	Objects    int              `toml:"objects"` // that requests are about
 }
 
 // Replay has the stories of an access record (package accesslog) begin in place of those that are drawn. Their work is drawn
 // all the same, and their clients try again as this scenario says: a variant is not fed the retries that another caused.
 type Replay struct {
-	From   []string        `toml:"from"`             // folders, or single segments
-	Start  strict.Duration `toml:"start,omitempty"`  // what came before is left out
-	Align  bool            `toml:"align,omitempty"`  // instances whose clocks were wrong are put together by the system's
-	Digest string          `toml:"digest,omitempty"` // of what is there; filled in, so that kept runs are of the same record
+	From   []string            `toml:"from"`             // folders, or single segments
+	Start  stricttoml.Duration `toml:"start,omitempty"`  // what came before is left out
+	Align  bool                `toml:"align,omitempty"`  // instances whose clocks were wrong are put together by the system's
+	Digest string              `toml:"digest,omitempty"` // of what is there; filled in, so that kept runs are of the same record
 }
 
 // Shape is how many times the traffic is at an instant; in between it changes evenly.
 type Shape struct {
-	At    strict.Duration `toml:"at"`
-	Times float64         `toml:"times"`
+	At    stricttoml.Duration `toml:"at"`
+	Times float64             `toml:"times"`
 }
 
 // Event is something that goes wrong, or changes.
 type Event struct {
-	What string       `toml:"what,omitempty"`
-	At   *strict.Span `toml:"at,omitempty"`
-	For  *strict.Span `toml:"for,omitempty"` // none is to the end
+	What string           `toml:"what,omitempty"`
+	At   *stricttoml.Span `toml:"at,omitempty"`
+	For  *stricttoml.Span `toml:"for,omitempty"` // none is to the end
 
 	// Which endpoints: of a zone, of a kind; of those a part, or so many.
 	Zone  string `toml:"zone,omitempty"`
@@ -166,13 +166,13 @@
 	Part  Range  `toml:"part,omitempty"`
 	Count int    `toml:"count,omitempty"`
 
-	Size   Range           `toml:"size,omitempty"`   // how bad; what it means depends on what happens
-	Class  string          `toml:"class,omitempty"`  // errors, surge: of this class only
-	Tenant string          `toml:"tenant,omitempty"` // surge: of this tenant only
-	One    bool            `toml:"one,omitempty"`    // surge: of one client process at each instance only
-	Every  strict.Duration `toml:"every,omitempty"`  // neighbour, part: on and off; rolling: one after another
-	Delay  *strict.Span    `toml:"delay,omitempty"`  // late-reports, late-words, stale, lag
-	To     string          `toml:"to,omitempty"`     // cut: the other zone; none is all
+	Size   Range               `toml:"size,omitempty"`   // how bad; what it means depends on what happens
+	Class  string              `toml:"class,omitempty"`  // errors, surge: of this class only
+	Tenant string              `toml:"tenant,omitempty"` // surge: of this tenant only
+	One    bool                `toml:"one,omitempty"`    // surge: of one client process at each instance only
+	Every  stricttoml.Duration `toml:"every,omitempty"`  // neighbour, part: on and off; rolling: one after another
+	Delay  *stricttoml.Span    `toml:"delay,omitempty"`  // late-reports, late-words, stale, lag
+	To     string              `toml:"to,omitempty"`     // cut: the other zone; none is all
 
 	// Which instances, of what happens to instances or on their ways: a part of those of the zone, all without it.
 	Instances Range  `toml:"instances,omitempty"`
@@ -196,17 +196,17 @@
 }
 
 // span returns a span, or nil where it is zero: a file need not give one.
-func span(from, to time.Duration) *strict.Span { return &strict.Span{From: from, To: to} }
+func span(from, to time.Duration) *stricttoml.Span { return &stricttoml.Span{From: from, To: to} }
 
 // ends returns both ends of a span in microseconds; 0 without one.
-func ends(s *strict.Span) [2]float64 {
+func ends(s *stricttoml.Span) [2]float64 {
 	if s == nil {
 		return [2]float64{}
 	}
 	return [2]float64{float64(s.From.Microseconds()), float64(s.To.Microseconds())}
 }
 
-func length(d time.Duration) strict.Duration { return strict.Duration{Duration: d} }
+func length(d time.Duration) stricttoml.Duration { return stricttoml.Duration{Duration: d} }
 
 // defaults are what a file that says nothing means: a small calm site.
 func defaults() Scenario {
@@ -281,11 +281,11 @@
 // overlay reads a text over what is known already, and checks the whole.
 func (s *Scenario) overlay(text []byte, find Finder, depth int) error {
 	var own Scenario
-	lines, err := strict.Decode(text, &own)
+	lines, err := stricttoml.Decode(text, &own)
 	if err != nil {
 		return err
 	}
-	k := &strict.Check{Lines: lines}
+	k := &stricttoml.Check{Lines: lines}
 	if own.Base != "" {
 		k.That(depth < basesMost, "base", "more than %d scenarios are based on one another", basesMost)
 		if err := k.Err(); err != nil {
@@ -317,7 +317,7 @@
 	} else if own.Clients.Rate > 0 {
 		s.Clients.Load = 0
 	}
-	if _, err := strict.Decode(text, s); err != nil {
+	if _, err := stricttoml.Decode(text, s); err != nil {
 		return err
 	}
 	for i := range s.Nodes {
@@ -348,7 +348,7 @@
 	c := *s
 	c.Fleet.Zones = slices.Clone(s.Fleet.Zones)
 	c.Nodes, c.Classes, c.Tenants = slices.Clone(s.Nodes), slices.Clone(s.Classes), slices.Clone(s.Tenants)
-	for _, at := range []**strict.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain, &c.Discovery.Gone, &c.Discovery.Silent} {
+	for _, at := range []**stricttoml.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain, &c.Discovery.Gone, &c.Discovery.Silent} {
 		own := **at
 		*at = &own
 	}
@@ -357,7 +357,7 @@
 	for i := range c.Events {
 		e := &c.Events[i]
 		e.Part, e.Size, e.Instances = slices.Clone(e.Part), slices.Clone(e.Size), slices.Clone(e.Instances)
-		for _, at := range []**strict.Span{&e.At, &e.For, &e.Delay} {
+		for _, at := range []**stricttoml.Span{&e.At, &e.For, &e.Delay} {
 			if *at != nil {
 				own := **at
 				*at = &own
@@ -389,7 +389,7 @@
 	}
 }
 
-func (s *Scenario) check(k *strict.Check) {
+func (s *Scenario) check(k *stricttoml.Check) {
 	k.That(s.Name != "", "name", "is missing")
 	k.That(s.Length.Duration >= time.Second, "length", "%v is under a second", s.Length)
 	f := &s.Fleet
@@ -407,7 +407,7 @@
 	k.That(s.Clocks.Drift >= 0 && s.Clocks.Drift < 0.01, "clocks.drift", "%v: must be in 0..0.01", s.Clocks.Drift)
 	s.checkNodes(k)
 	s.checkTraffic(k)
-	last := strict.Duration{Duration: -1}
+	last := stricttoml.Duration{Duration: -1}
 	for i, p := range s.Shape {
 		at := fmt.Sprintf("shape.%d.", i)
 		k.That(p.At.Duration > last.Duration, at+"at", "%v does not come after the one before", p.At)
@@ -420,7 +420,7 @@
 	k.That(s.Replay == nil || len(s.Replay.From) > 0, "replay.from", "is missing: the folders of an access record")
 }
 
-func checkRange(k *strict.Check, key string, r Range, least, most float64) {
+func checkRange(k *stricttoml.Check, key string, r Range, least, most float64) {
 	k.That(len(r) <= 2, key, "must be a list of one number or of two")
 	k.That(len(r) < 2 || r[0] <= r[1], key, "its second number is under its first")
 	for _, v := range r {
@@ -428,7 +428,7 @@
 	}
 }
 
-func (s *Scenario) checkNodes(k *strict.Check) {
+func (s *Scenario) checkNodes(k *stricttoml.Check) {
 	k.That(len(s.Nodes) > 0, "nodes", "at least one kind is needed")
 	kinds := map[string]bool{}
 	for i := range s.Nodes {
@@ -446,7 +446,7 @@
 		k.That(n.ColdFrom > 0 && n.ColdFrom <= 1, at("cold_from"), "%v: must be in 0..1, not 0", n.ColdFrom)
 		k.That(n.Fall == 0 || n.Fall >= 1, at("fall"), "%v: must be at least 1, or 0 for never", n.Fall)
 		k.That(n.Fall == 0 || n.FallAfter.Duration > 0, at("fall_after"), "is missing")
-		strict.Word(k, at("cancel"), n.Cancel, map[string]bool{"none": true, "queued": true, "all": true})
+		stricttoml.Word(k, at("cancel"), n.Cancel, map[string]bool{"none": true, "queued": true, "all": true})
 		k.That(n.Errors >= 0 && n.Errors < 1, at("errors"), "%v: must be in 0..1, not 1", n.Errors)
 		k.That(n.Crowd >= 0 && n.Crowd < 1, at("crowd"), "%v: must be in 0..1, not 1", n.Crowd)
 		k.That(n.Crowd == 0 || n.CrowdAt > 0, at("crowd_at"), "is missing")
@@ -457,7 +457,7 @@
 	}
 }
 
-func (s *Scenario) checkTraffic(k *strict.Check) {
+func (s *Scenario) checkTraffic(k *stricttoml.Check) {
 	k.That(len(s.Classes) > 0, "class", "at least one is needed")
 	var sum float64
 	names := map[string]bool{}
@@ -468,7 +468,7 @@
 		k.That(c.Share >= 0 && !math.IsInf(c.Share, 0), at("share"), "%v: must not be negative", c.Share)
 		sum += c.Share
 		k.That(c.Work.Duration > 0, at("work"), "is missing")
-		strict.Word(k, at("dist"), c.Dist, map[string]bool{"lognormal": true, "exponential": true, "fixed": true})
+		stricttoml.Word(k, at("dist"), c.Dist, map[string]bool{"lognormal": true, "exponential": true, "fixed": true})
 		k.That(c.CV >= 0 && c.CV <= 10, at("cv"), "%v: must be in 0..10", c.CV)
 		k.That(c.CV == 0 || c.Dist == "lognormal", at("cv"), "is for \"lognormal\" only")
 		k.That(c.Noise >= 0 && c.Noise <= 10, at("noise"), "%v: must be in 0..10", c.Noise)
@@ -495,7 +495,7 @@
 	k.That(c.Objects >= 1, "clients.objects", "%d: must be at least 1", c.Objects)
 }
 
-func (s *Scenario) checkEvent(k *strict.Check, i int) {
+func (s *Scenario) checkEvent(k *stricttoml.Check, i int) {
 	e := &s.Events[i]
 	at := func(key string) string { return fmt.Sprintf("event.%d.%s", i, key) }
 	kind, known := what[e.What]
@@ -504,7 +504,7 @@
 		for w := range what {
 			words[w] = true
 		}
-		strict.Word(k, at("what"), e.What, words)
+		stricttoml.Word(k, at("what"), e.What, words)
 		return
 	}
 	k.That(e.At != nil, at("at"), "is missing")
@@ -524,7 +524,7 @@
 	for _, n := range append(slices.Clone(e.Named), e.Others...) {
 		k.That(n >= 0, at("named"), "%d is negative", n)
 	}
-	strict.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
+	stricttoml.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
 	k.That(e.Way == "" || e.What == "sever" || e.What == "part", at("way"), "is for sever and part only")
 	k.That(kind.nodes || e.Kind == "", at("kind"), "%q does not happen to endpoints", e.What)
 	checkRange(k, at("part"), e.Part, 0, 1)
--- a/internal/model/scenario/scenario_test.go
+++ b/internal/model/scenario/scenario_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 )
 
 const least = `name = "a"
@@ -59,7 +59,7 @@
 		"base = \"calm\"\n": "line 13: clients.base: is not a known key",
 	} {
 		_, err := Parse([]byte(least+text), none)
-		var all strict.Errors
+		var all stricttoml.Errors
 		if !errors.As(err, &all) || !strings.HasPrefix(all[0].Error(), want) {
 			t.Errorf("%q:\n got %v\nwant %s", text, err, want)
 		}
--- a/internal/strict/strict.go
+++ b/internal/stricttoml/strict.go
@@ -1,6 +1,6 @@
-// Package strict reads TOML files strictly: what is not known, makes no sense or does not fit the rest is an error that
+// Package stricttoml reads TOML files strictly: what is not known, makes no sense or does not fit the rest is an error that
 // names key, line and reason; all of them are told at once. It knows TOML and units, and nothing of what files hold.
-package strict
+package stricttoml
 
 import (
 	"bytes"
--- a/internal/strict/units.go
+++ b/internal/stricttoml/units.go
@@ -1,4 +1,4 @@
-package strict
+package stricttoml
 
 import (
 	"math"
--- a/internal/xdsclient/control_test.go
+++ b/internal/xdsclient/control_test.go
@@ -29,7 +29,7 @@
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/steward"
-	"dunlinsail/internal/strict"
+	"dunlinsail/internal/stricttoml"
 	"dunlinsail/internal/xdsclient"
 )
 
@@ -49,7 +49,7 @@
 }
 
 func settings(addr string) config.Control {
-	return config.Control{Address: addr, Plaintext: true, SizeMost: strict.Size{Bytes: 1 << 20}, RetryMost: strict.Duration{Duration: 100 * time.Millisecond}}
+	return config.Control{Address: addr, Plaintext: true, SizeMost: stricttoml.Size{Bytes: 1 << 20}, RetryMost: stricttoml.Duration{Duration: 100 * time.Millisecond}}
 }
 
 func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
