--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dunlinsail/internal/decide/route"
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/stricttoml"
 )
 
@@ -259,7 +259,7 @@
 		switch {
 		case *source == "":
 		case header:
-			k.That(message.IsToken(name), at(key), "%q is no name of a header", name)
+			k.That(http1msg.IsToken(name), at(key), "%q is no name of a header", name)
 			k.That(!slices.Contains(own, http.CanonicalHeaderKey(name)), at(key), "%s tells how a message is framed, nothing else", name)
 		case key == "key" || key == "id" || key == "deadline":
 			k.That(false, at(key), "%q is no header, as \"header:NAME\"", *source)
@@ -269,7 +269,7 @@
 		}
 	}
 	for name := range r.Headers {
-		k.That(message.IsToken(name), at("headers"), "%q is no name of a header", name)
+		k.That(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
 	}
 	k.That(r.Tries >= 0, at("tries"), "%d is negative", r.Tries)
 	for key, size := range map[string]stricttoml.Size{"body_hold": r.BodyHold, "answer_hold": r.AnswerHold} {
@@ -316,7 +316,7 @@
 
 func (k *check) edits(at string, e *Edits) {
 	name := func(key, name string) {
-		k.That(message.IsToken(name), at+"."+key, "%q is no name of a header", name)
+		k.That(http1msg.IsToken(name), at+"."+key, "%q is no name of a header", name)
 		k.That(!slices.Contains(own, http.CanonicalHeaderKey(name)), at+"."+key, "%s is not to be changed", name)
 	}
 	for _, n := range e.Remove {
--- a/internal/front/http1/head.go
+++ b/internal/front/http1/head.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 )
 
 // request reads a request's head, strictly. also are fields that must be single and end to end beside those that
@@ -16,12 +16,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := message.CheckHead(head, also); err != nil {
+	if err := http1msg.CheckHead(head, also); err != nil {
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.r)
 	if err == nil && len(r.TransferEncoding) > 0 {
-		r.Header["Transfer-Encoding"] = r.TransferEncoding // where package message looks for it
+		r.Header["Transfer-Encoding"] = r.TransferEncoding // where package http1msg looks for it
 	}
 	return r, err
 }
@@ -33,7 +33,7 @@
 	seen := 0
 	for {
 		b, _ := r.Peek(r.Buffered())
-		n, next, err := message.HeadEnd(b, seen)
+		n, next, err := http1msg.HeadEnd(b, seen)
 		if n > 0 || err != nil {
 			return b[:n], err
 		}
--- a/internal/front/http1/http1.go
+++ b/internal/front/http1/http1.go
@@ -25,7 +25,7 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
@@ -236,7 +236,7 @@
 	var timeout net.Error
 	code := http.StatusBadRequest
 	switch {
-	case errors.As(err, new(*message.Error)):
+	case errors.As(err, new(*http1msg.Error)):
 		return turnedAway(err)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		if c.limit.N == HeaderMost && (c.r == nil || c.r.Buffered() == 0) {
@@ -258,7 +258,7 @@
 		a.code = bad.code
 		a.retryAfter(bad.retryAfter)
 	}
-	if bad := (*message.Error)(nil); errors.As(err, &bad) {
+	if bad := (*http1msg.Error)(nil); errors.As(err, &bad) {
 		a.code = bad.Code
 	}
 	return a
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -12,7 +12,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
@@ -68,11 +68,11 @@
 }
 
 // parse says what a request is, or what is wrong with it; rt is nil where not even its class is known.
-func (f *Front) parse(conn *conn, r *http.Request) (k *core.Call, rt *Route, out *upstream.Request, framing message.Framing, err error) {
-	wrong := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, message.Framing, error) {
+func (f *Front) parse(conn *conn, r *http.Request) (k *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
+	wrong := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, http1msg.Framing, error) {
 		return nil, rt, nil, framing, bad(code, format, args...)
 	}
-	if framing, err = message.RequestFraming(r.Header); err != nil {
+	if framing, err = http1msg.RequestFraming(r.Header); err != nil {
 		return nil, nil, nil, framing, err
 	}
 	uri, host := r.RequestURI, r.Host
@@ -115,7 +115,7 @@
 	if r.Method != method && !(r.Method == http.MethodHead && method == http.MethodGet) {
 		return wrong(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
 	}
-	if method == http.MethodGet && framing.Kind != message.Empty && !(framing.Kind == message.Sized && framing.Length == 0) {
+	if method == http.MethodGet && framing.Kind != http1msg.Empty && !(framing.Kind == http1msg.Sized && framing.Length == 0) {
 		return wrong(http.StatusBadRequest, "class %q takes no body", name)
 	}
 	if settings.Repeat == balancer.Keyed && r.Header.Get("Idempotency-Key") == "" {
@@ -138,7 +138,7 @@
 	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.Rules}
 	connection := r.Header["Connection"]
 	for k, v := range r.Header {
-		if !message.HopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
+		if !http1msg.HopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
 			out.Header[k] = v
 		}
 	}
--- a/internal/front/http1/whole.go
+++ b/internal/front/http1/whole.go
@@ -16,7 +16,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/upstream"
 )
 
@@ -51,9 +51,9 @@
 	if err == nil {
 		k, out, err = f.place(c, q, rt, host, path, query)
 	}
-	var framing message.Framing
+	var framing http1msg.Framing
 	if err == nil {
-		framing, err = message.RequestFraming(q.Header)
+		framing, err = http1msg.RequestFraming(q.Header)
 	}
 	if err == nil {
 		err = w.hold(rt, out, framing)
@@ -65,9 +65,9 @@
 }
 
 // hold takes in what is held of a request's body, if it may be.
-func (w *answering) hold(rt *Route, out *upstream.Request, framing message.Framing) error {
+func (w *answering) hold(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
 	switch {
-	case framing.Kind == message.Sized && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
+	case framing.Kind == http1msg.Sized && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
 		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.BodyMost)
 	case !w.f.conns.hold(w.c, rt.held(framing), false):
 		return &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter, status: "connection_limit_reached",
@@ -83,7 +83,7 @@
 }
 
 // serve serves a request that is taken, and says whether the connection may serve another.
-func (w *answering) serve(rt *Route, k *core.Call, out *upstream.Request, framing message.Framing, path string) bool {
+func (w *answering) serve(rt *Route, k *core.Call, out *upstream.Request, framing http1msg.Framing, path string) bool {
 	f, c, q := w.f, w.c, w.q
 	if !f.conns.take(c) {
 		return false
@@ -100,7 +100,7 @@
 		k.In.Deadline = min(k.In.Deadline, by)
 	}
 	in := int64(len(out.Body))
-	if framing.Kind == message.Sized {
+	if framing.Kind == http1msg.Sized {
 		in = framing.Length
 	} else if out.Stream != nil {
 		in = -1
@@ -110,13 +110,13 @@
 }
 
 // held is how many bytes of a request's body are held at most.
-func (rt *Route) held(f message.Framing) int64 {
+func (rt *Route) held(f http1msg.Framing) int64 {
 	switch {
-	case f.Kind == message.Empty:
+	case f.Kind == http1msg.Empty:
 		return 0
-	case f.Kind == message.Sized && f.Length <= rt.BodyHold:
+	case f.Kind == http1msg.Sized && f.Length <= rt.BodyHold:
 		return f.Length
-	case f.Kind == message.Sized:
+	case f.Kind == http1msg.Sized:
 		return 0
 	}
 	return rt.BodyHold
@@ -142,23 +142,23 @@
 
 // body reads what is held of the body, and prepares what is not to be passed on as it comes. A 100 (Continue) is sent
 // as soon as the request has been routed and its client is within its bounds, and no endpoint is asked for it.
-func (w *answering) body(rt *Route, out *upstream.Request, framing message.Framing) error {
+func (w *answering) body(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
 	c := w.c
 	if expect := w.q.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
-		if framing.Kind != message.Empty && w.q.ProtoAtLeast(1, 1) {
+		if framing.Kind != http1msg.Empty && w.q.ProtoAtLeast(1, 1) {
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
 		}
 	} else if expect != "" {
 		return bad(http.StatusExpectationFailed, "Expect makes no sense")
 	}
 	out.Sized = w.q.Header.Get("Content-Length") != ""
-	if framing.Kind == message.Empty {
+	if framing.Kind == http1msg.Empty {
 		return nil
 	}
 	c.limit.N = math.MaxInt64
-	body := message.NewBody(c.r, framing)
+	body := http1msg.NewBody(c.r, framing)
 	length := int64(-1)
-	if framing.Kind == message.Sized {
+	if framing.Kind == http1msg.Sized {
 		length = framing.Length
 	}
 	if length < 0 || length <= rt.BodyHold {
@@ -202,7 +202,7 @@
 
 // readUpTo reads a body of a length, -1 if that is not known, up to a bound. Its error is io.EOF at the body's end, and
 // nil where the bound was reached before.
-func readUpTo(body *message.Body, length, most int64) ([]byte, error) {
+func readUpTo(body *http1msg.Body, length, most int64) ([]byte, error) {
 	size := most
 	if length >= 0 {
 		size = length
@@ -239,7 +239,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, "the body does not come")
-	case errors.Is(err, message.ErrChunk), errors.Is(err, message.ErrTrailer):
+	case errors.Is(err, http1msg.ErrChunk), errors.Is(err, http1msg.ErrTrailer):
 		return bad(http.StatusBadRequest, "%v", err)
 	case errors.Is(err, upstream.ErrBodyTooLong):
 		return bad(http.StatusRequestEntityTooLarge, "the body is larger than it may be")
@@ -356,8 +356,8 @@
 	if bad := (*badRequest)(nil); errors.As(err, &bad) && bad.status != "" {
 		status = bad.status
 	}
-	framing, frameErr := message.RequestFraming(w.q.Header)
-	if frameErr == nil && framing.Kind == message.Empty {
+	framing, frameErr := http1msg.RequestFraming(w.q.Header)
+	if frameErr == nil && framing.Kind == http1msg.Empty {
 		return w.f.conns.take(w.c) && w.own(r, status) // nothing is in the way of the next
 	}
 	r.header.Set("Proxy-Status", w.agent+"; error="+status+"; details="+strconv.Quote(err.Error()))
@@ -383,8 +383,8 @@
 	w.edits.apply(a.Header)
 	old := !w.q.ProtoAtLeast(1, 1)
 	noBody := w.q.Method == http.MethodHead || a.Code == http.StatusNoContent || a.Code == http.StatusNotModified
-	chunked := !noBody && !old && (len(a.Trailer) > 0 || !whole && a.Framing.Kind != message.Sized)
-	if !noBody && !chunked && !whole && a.Framing.Kind != message.Sized {
+	chunked := !noBody && !old && (len(a.Trailer) > 0 || !whole && a.Framing.Kind != http1msg.Sized)
+	if !noBody && !chunked && !whole && a.Framing.Kind != http1msg.Sized {
 		w.last = true // only the connection's end can tell where it ends
 	}
 	b := make([]byte, 0, 1024+len(a.Held))
@@ -407,7 +407,7 @@
 		}
 	case whole:
 		b = append(b, "Content-Length: "+strconv.Itoa(len(a.Held))+"\r\n"...)
-	case a.Framing.Kind == message.Sized:
+	case a.Framing.Kind == http1msg.Sized:
 		b = append(b, "Content-Length: "+strconv.FormatInt(a.Framing.Length, 10)+"\r\n"...)
 	}
 	if w.last {
@@ -416,14 +416,14 @@
 	b = append(b, "\r\n"...)
 	if !noBody && len(a.Held) > 0 {
 		if chunked {
-			b = message.ChunkHead(b, len(a.Held))
+			b = http1msg.ChunkHead(b, len(a.Held))
 			b = append(append(b, a.Held...), "\r\n"...)
 		} else {
 			b = append(b, a.Held...)
 		}
 	}
 	if whole && chunked {
-		b = message.LastChunk(b, a.Trailer)
+		b = http1msg.LastChunk(b, a.Trailer)
 	}
 	w.c.SetWriteDeadline(time.Now().Add(w.idle))
 	if _, err := w.c.Write(b); err != nil {
@@ -457,12 +457,12 @@
 		}
 		text := buf[room : room+n]
 		if n > 0 && chunked {
-			head := message.ChunkHead(nil, n)
+			head := http1msg.ChunkHead(nil, n)
 			copy(buf[room-len(head):], head)
 			text = append(buf[room-len(head):room+n], '\r', '\n')
 		}
 		if err == io.EOF && chunked {
-			text = message.LastChunk(text, rest.Trailer())
+			text = http1msg.LastChunk(text, rest.Trailer())
 		}
 		if len(text) > 0 {
 			w.c.SetWriteDeadline(time.Now().Add(w.idle))
@@ -484,7 +484,7 @@
 	b = append(b, http.StatusText(code)...)
 	b = append(b, "\r\n"...)
 	for k, values := range h {
-		if message.HopByHop(k, connection) {
+		if http1msg.HopByHop(k, connection) {
 			continue
 		}
 		for _, v := range values {
--- a/internal/message/body_test.go
+++ b/internal/http1msg/body_test.go
@@ -1,4 +1,4 @@
-package message
+package http1msg
 
 import (
 	"bufio"
--- a/internal/message/head.go
+++ b/internal/http1msg/head.go
@@ -1,7 +1,7 @@
-// Package message is the framing of HTTP/1.1 messages (RFC 9112), strictly: what may stand in a head, where a body ends,
+// Package http1msg is the framing of HTTP/1.1 messages (RFC 9112), strictly: what may stand in a head, where a body ends,
 // which fields are of one connection only. It reads what comes on a connection and decides nothing of it; it knows
 // neither clients nor endpoints.
-package message
+package http1msg
 
 import (
 	"bytes"
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -16,7 +16,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/message"
+	"dunlinsail/internal/http1msg"
 )
 
 // Request is a request of any form that HTTP/1.1 has, as it goes on to an endpoint. It may go out several times, but
@@ -66,7 +66,7 @@
 // Stream is a request's body that is passed on as it comes. The first attempt that takes it has it for good: it cannot
 // be shown again.
 type Stream struct {
-	Body   *message.Body
+	Body   *http1msg.Body
 	Length int64 // of the whole body, what is held included; -1 is not known
 	Most   int64 // bytes that may follow what is held; -1 is no bound
 	// Wait sets how long the next bytes are waited for. It is called before each read.
@@ -81,7 +81,7 @@
 }
 
 // NewStream returns a stream.
-func NewStream(b *message.Body, length int64, wait, abort func()) *Stream {
+func NewStream(b *http1msg.Body, length int64, wait, abort func()) *Stream {
 	return &Stream{Body: b, Length: length, Most: -1, Wait: wait, Abort: abort, over: make(chan struct{})}
 }
 
@@ -102,7 +102,7 @@
 	Code    int
 	Interim []Interim // answers 1xx that came ahead
 	Header  http.Header
-	Framing message.Framing
+	Framing http1msg.Framing
 	Held    []byte
 	Trailer http.Header // of a body that is held
 	Rest    *Rest
@@ -117,7 +117,7 @@
 // Rest is what follows of an answer that streams. One goroutine reads it to its end, or ends it.
 type Rest struct {
 	conn  *Conn
-	body  *message.Body
+	body  *http1msg.Body
 	rules *Rules
 	until time.Time // zero is no bound
 	left  int64     // of the most bytes
@@ -252,11 +252,11 @@
 	r.From = e.wrote.Load()
 	if q.Rules.Own && r.Status != balancer.OK {
 		r.Answer = nil
-		whole, err := e.hold(a, message.NewBody(c.r, a.Framing), false)
+		whole, err := e.hold(a, http1msg.NewBody(c.r, a.Framing), false)
 		return r, whole && err == nil && !last
 	}
 	began := r.At
-	body := message.NewBody(c.r, a.Framing)
+	body := http1msg.NewBody(c.r, a.Framing)
 	whole, err := e.hold(a, body, q.Rules.Patient)
 	if err != nil {
 		return p.ended(balancer.Reset), false
@@ -319,7 +319,7 @@
 		if n > 0 {
 			text := buf[room : room+n]
 			if s.Length < 0 {
-				head := message.ChunkHead(nil, n)
+				head := http1msg.ChunkHead(nil, n)
 				copy(buf[room-len(head):], head)
 				text = append(buf[room-len(head):room+n], '\r', '\n')
 			}
@@ -332,7 +332,7 @@
 		case err == io.EOF:
 			if s.Length < 0 {
 				e.c.SetWriteDeadline(time.Now().Add(e.q.Rules.Idle))
-				if _, failed := e.c.Write(message.LastChunk(nil, s.Body.Trailer())); failed != nil {
+				if _, failed := e.c.Write(http1msg.LastChunk(nil, s.Body.Trailer())); failed != nil {
 					return true
 				}
 			}
@@ -399,8 +399,8 @@
 			continue
 		}
 		a.Code, a.Header = g.code, g.Header
-		a.Framing, err = message.AnswerFraming(e.q.Method, g.code, g.Header)
-		return a, g.last || a.Framing.Kind == message.Closed, err
+		a.Framing, err = http1msg.AnswerFraming(e.q.Method, g.code, g.Header)
+		return a, g.last || a.Framing.Kind == http1msg.Closed, err
 	}
 	return nil, false, errTooLarge
 }
@@ -408,11 +408,11 @@
 // sound says whether all fields are what may stand in a head.
 func sound(h http.Header) bool {
 	for name, values := range h {
-		if !message.IsToken(name) {
+		if !http1msg.IsToken(name) {
 			return false
 		}
 		for _, v := range values {
-			if !message.IsValue(v) {
+			if !http1msg.IsValue(v) {
 				return false
 			}
 		}
@@ -422,16 +422,16 @@
 
 // hold reads as much of an answer as is held, and says whether that is all. With patience one of a known length is waited
 // for until the attempt's time is up.
-func (e *whole) hold(a *Whole, body *message.Body, patient bool) (bool, error) {
+func (e *whole) hold(a *Whole, body *http1msg.Body, patient bool) (bool, error) {
 	if body.Done() {
 		return true, nil
 	}
 	rules := e.q.Rules
-	if a.Framing.Kind == message.Sized && a.Framing.Length > rules.Hold {
+	if a.Framing.Kind == http1msg.Sized && a.Framing.Length > rules.Hold {
 		return false, nil
 	}
 	size := int64(512)
-	if a.Framing.Kind == message.Sized {
+	if a.Framing.Kind == http1msg.Sized {
 		size = a.Framing.Length
 	}
 	a.Held = make([]byte, 0, min(size, rules.Hold)+1)
@@ -450,10 +450,10 @@
 		switch {
 		case err == io.EOF:
 			return true, nil
-		case isTimeout(err) && patient && a.Framing.Kind == message.Sized && len(a.Held) > 0:
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized && len(a.Held) > 0:
 			e.t.Heard() // it is slow, but not silent
 			until = time.Time{}
-		case isTimeout(err) && patient && a.Framing.Kind == message.Sized:
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized:
 			// A head alone is not passed on: its client would be shown an answer that may never come, where another try may yet
 			// serve it. The attempt's own time bounds this.
 			until = time.Now().Add(holdTime)
@@ -510,12 +510,12 @@
 	case s != nil || len(q.Trailer) > 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 		if len(q.Body) > 0 {
-			b.Write(message.ChunkHead(nil, len(q.Body)))
+			b.Write(http1msg.ChunkHead(nil, len(q.Body)))
 			b.Write(q.Body)
 			b.WriteString("\r\n")
 		}
 		if s == nil {
-			b.Write(message.LastChunk(nil, q.Trailer))
+			b.Write(http1msg.LastChunk(nil, q.Trailer))
 		}
 	default:
 		if len(q.Body) > 0 || q.Sized {
