Rename package front to frontend

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 )
 
 // clients tells whose a connection is: by the listener that it uses and, on a unix socket, by what the kernel says
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -13,7 +13,7 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/peers"
 	"dunlinsail/internal/upstream"
 )
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/takeover"
 )
 
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -16,7 +16,7 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/endpointsource"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/upstream"
 )
 
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -5,7 +5,7 @@
 
 	"dunlinsail/internal/accesslog"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 )
 
 // record starts the access record, if the file asks for one.
--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -6,7 +6,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/canary"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 )
 
 // tally sums up what came of a generation's requests, so that one configuration can be held against another. Both must be
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -13,7 +13,7 @@
 
 	"dunlinsail/internal/admin"
 	"dunlinsail/internal/decide/cordon"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/takeover"
 )
 
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"context"
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/siteconfig"
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,7 +24,7 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/eventlog"
-	"dunlinsail/internal/front/http1"
+	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/upstream"
 )
