--- a/internal/lab/live/live.go
+++ b/internal/experiment/processes/live.go
@@ -1,9 +1,9 @@
-// Package live plays a plan of the fleet's model on loopback, in real time: real daemons, endpoints behind sockets, a
+// Package processes plays a plan of the fleet's model on loopback, in real time: real daemons, endpoints behind sockets, a
 // discovery for each instance, and clients that ask by the plan's clock whether or not answers come, so that what waits is
 // measured from when it was wanted (no coordinated omission: Tene, "How NOT to measure latency", 2015). Endpoints and
 // clients are the same state machines as in the model (packages node and caller), and what it comes to is judged by the same
 // meter: where a real run and the model differ, the difference is the daemon's, its sockets' and its machine's.
-package live
+package processes
 
 import (
 	"context"
--- a/internal/lab/live/work.go
+++ b/internal/experiment/processes/work.go
@@ -1,4 +1,4 @@
-package live
+package processes
 
 import (
 	"context"
