Rename package lab to experiment

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinlab/faults.go
+++ b/cmd/dunlinlab/faults.go
@@ -7,9 +7,9 @@
 	"path/filepath"
 	"strings"
 
-	"dunlinsail/internal/lab"
-	"dunlinsail/internal/lab/claim"
-	"dunlinsail/internal/lab/library"
+	"dunlinsail/internal/experiment"
+	"dunlinsail/internal/experiment/claim"
+	"dunlinsail/internal/experiment/library"
 	"dunlinsail/internal/model/scenario"
 )
 
@@ -70,7 +70,7 @@
 		specs = append(specs, c.Settings)
 	}
 	for i, spec := range specs {
-		v, err := lab.ParseVariant(spec)
+		v, err := experiment.ParseVariant(spec)
 		if err != nil {
 			return 0, err
 		}
@@ -78,7 +78,7 @@
 		if i > 0 {
 			keep = "" // it is not held to anything
 		}
-		f, err := lab.Faults(ctx, s, v, program, c.Beside, seed, keep)
+		f, err := experiment.Faults(ctx, s, v, program, c.Beside, seed, keep)
 		if err != nil {
 			return 0, err
 		}
--- a/cmd/dunlinlab/hunts.go
+++ b/cmd/dunlinlab/hunts.go
@@ -7,8 +7,8 @@
 	"os"
 	"text/tabwriter"
 
-	"dunlinsail/internal/lab"
-	reports "dunlinsail/internal/lab/report"
+	"dunlinsail/internal/experiment"
+	reports "dunlinsail/internal/experiment/report"
 	"dunlinsail/internal/model/measure"
 )
 
@@ -30,13 +30,13 @@
 	if err != nil {
 		return err
 	}
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
-	var axes []lab.Axis
+	var axes []experiment.Axis
 	for _, text := range c.Over {
-		a, err := lab.ParseAxis(text)
+		a, err := experiment.ParseAxis(text)
 		if err != nil {
 			return err
 		}
@@ -52,7 +52,7 @@
 		return err
 	}
 	defer done()
-	got, err := r.Sweep(ctx, lab.Plan{Scenario: s, A: v, First: c.First, Least: c.Seeds.Seeds}, axes)
+	got, err := r.Sweep(ctx, experiment.Plan{Scenario: s, A: v, First: c.First, Least: c.Seeds.Seeds}, axes)
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 			p := &got.Points[i]
 			if err := e.Encode(struct {
 				Values []string `json:"Values"`
-				lab.Summary
+				experiment.Summary
 			}{p.Values, p.Summary()}); err != nil {
 				return err
 			}
@@ -90,10 +90,10 @@
 		for _, name := range c.Figure {
 			f, _ := measure.Describe(name)
 			value, d := got.Points[i].Of(name)
-			fmt.Fprintf(t, "%s\t", lab.Number(f, value))
+			fmt.Fprintf(t, "%s\t", experiment.Number(f, value))
 			if d != nil {
-				fmt.Fprint(t, lab.Signed(f, d.Difference))
-				if d.Verdict != lab.CannotTell {
+				fmt.Fprint(t, experiment.Signed(f, d.Difference))
+				if d.Verdict != experiment.CannotTell {
 					fmt.Fprint(t, " ", d.Verdict)
 				}
 			}
@@ -121,16 +121,16 @@
 	if err != nil {
 		return err
 	}
-	h := lab.Hunt{Scenario: s, Budget: c.Budget, Seed: c.Seed, Found: func(f lab.Found) {
+	h := experiment.Hunt{Scenario: s, Budget: c.Budget, Seed: c.Seed, Found: func(f experiment.Found) {
 		if !c.Quiet {
 			fmt.Fprintf(os.Stderr, "\r\x1b[Kafter %d runs: loses %.3f, service %.3f, %.0f rules broken\n", f.Runs, f.Loss, f.Service, f.Breaks)
 		}
 	}}
-	if h.Variant, err = lab.ParseVariant(c.Settings); err != nil {
+	if h.Variant, err = experiment.ParseVariant(c.Settings); err != nil {
 		return err
 	}
 	if c.Against != "" {
-		if h.Against, err = lab.ParseVariant(c.Against); err != nil {
+		if h.Against, err = experiment.ParseVariant(c.Against); err != nil {
 			return err
 		}
 	}
@@ -172,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
--- a/cmd/dunlinlab/real.go
+++ b/cmd/dunlinlab/real.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"dunlinsail/internal/lab"
+	"dunlinsail/internal/experiment"
 )
 
 type realCmd struct {
@@ -27,7 +27,7 @@
 
 // Run plays for real.
 func (c *realCmd) Run(ctx context.Context, w *out) error {
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -80,7 +80,7 @@
 			if row.Unit == "ms" {
 				digits = 1
 			}
-			fmt.Fprintf(t, "%s\t%s\t%.*f\t%s\n", row.Name, lab.Number(row.Figure, row.Model), digits, row.Real, mark)
+			fmt.Fprintf(t, "%s\t%s\t%.*f\t%s\n", row.Name, experiment.Number(row.Figure, row.Model), digits, row.Real, mark)
 		}
 		if err := t.Flush(); err != nil {
 			return err
--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"dunlinsail/internal/accesslog"
-	"dunlinsail/internal/lab"
+	"dunlinsail/internal/experiment"
 )
 
 type recordCmd struct {
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	s, notes, err := lab.Fit(base, rec)
+	s, notes, err := experiment.Fit(base, rec)
 	if err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	option, closer, err := lab.Recorder(c.Dir, &j)
+	option, closer, err := experiment.Recorder(c.Dir, &j)
 	if err != nil {
 		return err
 	}
--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -11,10 +11,10 @@
 	"text/tabwriter"
 	"time"
 
-	"dunlinsail/internal/lab"
-	"dunlinsail/internal/lab/claim"
-	"dunlinsail/internal/lab/library"
-	reports "dunlinsail/internal/lab/report"
+	"dunlinsail/internal/experiment"
+	"dunlinsail/internal/experiment/claim"
+	"dunlinsail/internal/experiment/library"
+	reports "dunlinsail/internal/experiment/report"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/scenario"
 )
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
-	return lab.Resize(s, z.World, z.Instances, z.Nodes)
+	return experiment.Resize(s, z.World, z.Instances, z.Nodes)
 }
 
 // Keeping says where runs are kept and how many are made at once.
@@ -106,11 +106,11 @@
 }
 
 // runner returns a runner and what gives it back.
-func (k *Keeping) runner() (*lab.Runner, func(), error) {
-	r := &lab.Runner{Parallel: k.Parallel}
+func (k *Keeping) runner() (*experiment.Runner, func(), error) {
+	r := &experiment.Runner{Parallel: k.Parallel}
 	done := func() {}
 	if k.Store != "" {
-		s, err := lab.OpenStore(k.Store)
+		s, err := experiment.OpenStore(k.Store)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -180,7 +180,7 @@
 		return err
 	}
 	defer done()
-	got, err := r.Compare(ctx, lab.Plan{Scenario: s, A: v, First: c.First, Least: c.Seeds.Seeds})
+	got, err := r.Compare(ctx, experiment.Plan{Scenario: s, A: v, First: c.First, Least: c.Seeds.Seeds})
 	if err != nil {
 		return err
 	}
@@ -193,7 +193,7 @@
 	fmt.Fprintln(w, got.Line())
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, row := range got.Rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\n", row.Name, lab.Number(row.Figure, row.A), row.Note)
+		fmt.Fprintf(t, "%s\t%s\t%s\n", row.Name, experiment.Number(row.Figure, row.A), row.Note)
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -211,7 +211,7 @@
 }
 
 // trace prints what happens to one story.
-func trace(ctx context.Context, w io.Writer, s *scenario.Scenario, v *lab.Variant, seed uint64, which string) error {
+func trace(ctx context.Context, w io.Writer, s *scenario.Scenario, v *experiment.Variant, seed uint64, which string) error {
 	j, err := v.Job(s, v, seed)
 	if err != nil {
 		return err
@@ -271,11 +271,11 @@
 	if (c.Width > 0) != (c.Most > 0) {
 		return errors.New("--width and --most belong together")
 	}
-	a, err := lab.ParseVariant(c.A)
+	a, err := experiment.ParseVariant(c.A)
 	if err != nil {
 		return err
 	}
-	b, err := lab.ParseVariant(c.B)
+	b, err := experiment.ParseVariant(c.B)
 	if err != nil {
 		return err
 	}
@@ -284,13 +284,13 @@
 		return err
 	}
 	defer done()
-	var all []*lab.Comparison
+	var all []*experiment.Comparison
 	for _, name := range c.Scenario {
 		s, err := c.Sizes.load(name)
 		if err != nil {
 			return err
 		}
-		got, err := r.Compare(ctx, lab.Plan{Scenario: s, A: a, B: b, First: c.First, Least: c.Seeds.Seeds, Most: c.Most, Width: c.Width, Method: c.Method, Figure: c.Figure})
+		got, err := r.Compare(ctx, experiment.Plan{Scenario: s, A: a, B: b, First: c.First, Least: c.Seeds.Seeds, Most: c.Most, Width: c.Width, Method: c.Method, Figure: c.Figure})
 		if err != nil {
 			return err
 		}
@@ -318,13 +318,13 @@
 		fmt.Fprintln(t, "\tA\tB\tB less A\t")
 		for _, row := range got.Rows {
 			verdict := ""
-			if row.Verdict != lab.CannotTell {
+			if row.Verdict != experiment.CannotTell {
 				verdict = row.Verdict.String()
 			}
 			if row.Note != "" {
 				verdict = strings.TrimSpace(verdict + " " + row.Note)
 			}
-			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", row.Name, lab.Number(row.Figure, row.A), lab.Number(row.Figure, row.B), lab.Signed(row.Figure, row.Difference), verdict)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", row.Name, experiment.Number(row.Figure, row.A), experiment.Number(row.Figure, row.B), experiment.Signed(row.Figure, row.Difference), verdict)
 		}
 		if err := t.Flush(); err != nil {
 			return err
@@ -342,7 +342,7 @@
 
 // Run judges claims.
 func (c *expectCmd) Run(ctx context.Context, w *out) error {
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -366,11 +366,11 @@
 		}
 		own := v
 		if len(s.Settings) > 0 {
-			if own, err = lab.ParseVariant(strings.Join(append([]string{c.Settings}, s.Settings...), ",")); err != nil {
+			if own, err = experiment.ParseVariant(strings.Join(append([]string{c.Settings}, s.Settings...), ",")); err != nil {
 				return fmt.Errorf("scenario %s: %w", name, err)
 			}
 		}
-		got, err := r.Compare(ctx, lab.Plan{Scenario: s, A: own, First: c.First, Least: c.Seeds.Seeds})
+		got, err := r.Compare(ctx, experiment.Plan{Scenario: s, A: own, First: c.First, Least: c.Seeds.Seeds})
 		if err != nil {
 			return err
 		}
@@ -398,7 +398,7 @@
 	if err != nil {
 		return err
 	}
-	reply, err := lab.Answer(ctx, text)
+	reply, err := experiment.Answer(ctx, text)
 	if err == nil {
 		_, err = w.Write(reply)
 	}
@@ -406,7 +406,7 @@
 }
 
 // report writes a report, if one is wanted.
-func report(path string, all ...*lab.Comparison) error {
+func report(path string, all ...*experiment.Comparison) error {
 	if path == "" {
 		return nil
 	}
--- a/cmd/dunlinlab/sizes.go
+++ b/cmd/dunlinlab/sizes.go
@@ -8,7 +8,7 @@
 	"text/tabwriter"
 	"time"
 
-	"dunlinsail/internal/lab"
+	"dunlinsail/internal/experiment"
 )
 
 type scaleCmd struct {
@@ -30,21 +30,21 @@
 	if err != nil {
 		return err
 	}
-	v, err := lab.ParseVariant(c.Settings)
+	v, err := experiment.ParseVariant(c.Settings)
 	if err != nil {
 		return err
 	}
 	if len(c.Instances) == 0 || len(c.Nodes) == 0 || c.Stories < 1 || c.Subset < 1 {
 		return errors.New("sizes, --subset and --stories must be positive")
 	}
-	sc := lab.Scaling{Scenario: s, Variant: v, Subset: c.Subset, Stories: c.Stories, Seed: c.Seed, Program: v.Program}
+	sc := experiment.Scaling{Scenario: s, Variant: v, Subset: c.Subset, Stories: c.Stories, Seed: c.Seed, Program: v.Program}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if !c.JSON {
 		fmt.Fprintln(t, "instances\tendpoints\teach told of\tsimulated\tstories\tdecisions\tprocessor time\tdecisions/s\tstories/s\tmemory\t")
 	}
 	for _, instances := range c.Instances {
 		for _, nodes := range c.Nodes {
-			r, err := sc.At(ctx, lab.Size{Instances: instances, Nodes: nodes})
+			r, err := sc.At(ctx, experiment.Size{Instances: instances, Nodes: nodes})
 			if err != nil {
 				return err
 			}
@@ -66,7 +66,7 @@
 	if c.JSON || len(c.Cores) == 0 {
 		return nil
 	}
-	z := lab.Size{Instances: c.Instances[min(1, len(c.Instances)-1)], Nodes: c.Nodes[min(1, len(c.Nodes)-1)]}
+	z := experiment.Size{Instances: c.Instances[min(1, len(c.Instances)-1)], Nodes: c.Nodes[min(1, len(c.Nodes)-1)]}
 	same := true
 	var first string
 	for _, n := range c.Cores {
@@ -96,15 +96,15 @@
 
 // Run builds.
 func (c *buildCmd) Run(ctx context.Context, w *out) error {
-	var all []lab.Constant
+	var all []experiment.Constant
 	for _, text := range c.Const {
-		k, err := lab.ParseConstant(text)
+		k, err := experiment.ParseConstant(text)
 		if err != nil {
 			return err
 		}
 		all = append(all, k)
 	}
-	if err := lab.Build(ctx, c.Root, c.Program, all); err != nil {
+	if err := experiment.Build(ctx, c.Root, c.Program, all); err != nil {
 		return err
 	}
 	fmt.Fprintf(w, "%s: compare shipped @%s:shipped -s SCENARIO\n", c.Program, c.Program)
--- a/internal/lab/agree.go
+++ b/internal/experiment/agree.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/experiment/processes"
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
 )
--- a/internal/lab/claim/claim.go
+++ b/internal/experiment/claim/claim.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 )
 
 var parser = participle.MustBuild[comparison](participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
--- a/internal/lab/compare.go
+++ b/internal/experiment/compare.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
-	"dunlinsail/internal/lab/claim"
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/claim"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
 )
--- a/internal/lab/faults.go
+++ b/internal/experiment/faults.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"sync"
 
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/experiment/claim"
 	"dunlinsail/internal/experiment/processes"
-	"dunlinsail/internal/lab/claim"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
 )
--- a/internal/lab/faults_test.go
+++ b/internal/experiment/faults_test.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/daemon"
-	"dunlinsail/internal/lab/library"
+	"dunlinsail/internal/experiment/library"
 	"dunlinsail/internal/model/scenario"
 	"dunlinsail/internal/standin/peer"
 )
--- a/internal/lab/golden_test.go
+++ b/internal/experiment/golden_test.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
 )
--- a/internal/lab/lab_test.go
+++ b/internal/experiment/lab_test.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 
 	"go.uber.org/goleak"
 
-	"dunlinsail/internal/lab/claim"
-	"dunlinsail/internal/lab/library"
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/claim"
+	"dunlinsail/internal/experiment/library"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
 )
--- a/internal/lab/prove.go
+++ b/internal/experiment/prove.go
@@ -1,9 +1,9 @@
-package lab
+package experiment
 
 import (
 	"context"
 
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model/scenario"
 )
 
--- a/internal/lab/replay.go
+++ b/internal/experiment/replay.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"cmp"
@@ -20,7 +20,7 @@
 	"dunlinsail/internal/accesslog"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model"
 	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
--- a/internal/lab/report/charts.go
+++ b/internal/experiment/report/charts.go
@@ -15,7 +15,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"dunlinsail/internal/lab"
+	"dunlinsail/internal/experiment"
 	"dunlinsail/internal/model/measure"
 )
 
@@ -75,7 +75,7 @@
 	band color.Color
 }
 
-func sides(c *lab.Comparison) []side {
+func sides(c *experiment.Comparison) []side {
 	all := []side{{"A", c.RunsA, colourA, bandA}}
 	if c.RunsB != nil {
 		all = append(all, side{"B", c.RunsB, colourB, bandB})
@@ -84,7 +84,7 @@
 }
 
 // overTime draws a line of the runs' mean, with the band in which nine of ten runs lie.
-func overTime(c *lab.Comparison, y string, of func(s *measure.Series) []float64, least, most float64) (template.HTML, error) {
+func overTime(c *experiment.Comparison, y string, of func(s *measure.Series) []float64, least, most float64) (template.HTML, error) {
 	p := newPlot("seconds", y)
 	for _, s := range sides(c) {
 		var mean plotter.XYs
@@ -133,7 +133,7 @@
 }
 
 // errors draws differences with their intervals.
-func differences(rows []lab.Row, times float64, label string) (template.HTML, error) {
+func differences(rows []experiment.Row, times float64, label string) (template.HTML, error) {
 	p := newPlot(label, "")
 	var names []string
 	type bars struct {
@@ -175,7 +175,7 @@
 }
 
 // latencies draws how long answers took, against how many took no longer.
-func latencies(c *lab.Comparison) (template.HTML, error) {
+func latencies(c *experiment.Comparison) (template.HTML, error) {
 	p := newPlot("part of the answers that took no longer", "milliseconds")
 	nines := func(q float64) float64 { return -math.Log10(1 - q/100) }
 	var ticks []plot.Tick
@@ -214,7 +214,7 @@
 var dashes = [][]vg.Length{nil, {vg.Points(6), vg.Points(2)}, {vg.Points(2), vg.Points(2)}, {vg.Points(8), vg.Points(2), vg.Points(2), vg.Points(2)}}
 
 // loads draws how much each endpoint had to do.
-func loads(c *lab.Comparison) (template.HTML, error) {
+func loads(c *experiment.Comparison) (template.HTML, error) {
 	const most = 60 // more bars than this show nothing
 	nodes := c.RunsA[0].Nodes
 	if len(nodes) == 0 || len(nodes) > most {
@@ -263,7 +263,7 @@
 }
 
 // charts draws all pictures of a comparison.
-func charts(c *lab.Comparison) ([]chart, error) {
+func charts(c *experiment.Comparison) ([]chart, error) {
 	var all []chart
 	add := func(title, about string, picture template.HTML, err error) error {
 		if err != nil {
@@ -275,7 +275,7 @@
 		return nil
 	}
 	if c.RunsB != nil {
-		var shares, times []lab.Row
+		var shares, times []experiment.Row
 		for _, r := range c.Rows {
 			switch {
 			case r.Unit == "ms" && !slices.Contains([]string{"p999"}, r.Name):
@@ -327,7 +327,7 @@
 }
 
 // places draws a figure over the places of a sweep: along its last axis, a line for each value of the other.
-func places(s *lab.Sweep, figure string) (template.HTML, error) {
+func places(s *experiment.Sweep, figure string) (template.HTML, error) {
 	last := s.Axes[len(s.Axes)-1]
 	p := newPlot(last.Key, figure)
 	n := len(last.Values)
--- a/internal/lab/report/report.go
+++ b/internal/experiment/report/report.go
@@ -12,8 +12,8 @@
 	"path/filepath"
 	"strings"
 
-	"dunlinsail/internal/lab"
-	"dunlinsail/internal/lab/claim"
+	"dunlinsail/internal/experiment"
+	"dunlinsail/internal/experiment/claim"
 	"dunlinsail/internal/model/measure"
 )
 
@@ -48,8 +48,8 @@
 }
 
 // Write writes a report to a file, by its name's end: .html or .md.
-func Write(path string, all ...*lab.Comparison) (err error) {
-	var write func(w io.Writer, all []*lab.Comparison) error
+func Write(path string, all ...*experiment.Comparison) (err error) {
+	var write func(w io.Writer, all []*experiment.Comparison) error
 	switch filepath.Ext(path) {
 	case ".html":
 		write = HTML
@@ -71,12 +71,12 @@
 }
 
 // WriteSweep writes what came of a sweep to an .html file: figures of each place, and their pictures.
-func WriteSweep(path string, s *lab.Sweep, figures []string) error {
+func WriteSweep(path string, s *experiment.Sweep, figures []string) error {
 	if filepath.Ext(path) != ".html" {
 		return fmt.Errorf("%s: a report of a sweep ends in .html", path)
 	}
 	plan := &s.Points[0].Plan
-	d := &data{Title: "Values compared", A: plan.A.Spec, Confidence: 100 * lab.Confidence, Method: "Differences are from the first place, pair by pair."}
+	d := &data{Title: "Values compared", A: plan.A.Spec, Confidence: 100 * experiment.Confidence, Method: "Differences are from the first place, pair by pair."}
 	for _, name := range figures {
 		if f, ok := measure.Describe(name); ok {
 			d.Figures = append(d.Figures, f)
@@ -99,13 +99,13 @@
 		for _, name := range figures {
 			f, _ := measure.Describe(name)
 			value, difference := p.Of(name)
-			line = append(line, lab.Number(f, value))
+			line = append(line, experiment.Number(f, value))
 			if difference == nil {
 				line = append(line, "")
 				continue
 			}
-			text := lab.Signed(f, difference.Difference)
-			if difference.Verdict != lab.CannotTell {
+			text := experiment.Signed(f, difference.Difference)
+			if difference.Verdict != experiment.CannotTell {
 				text += " " + difference.Verdict.String()
 			}
 			line = append(line, text)
@@ -120,7 +120,7 @@
 }
 
 // HTML writes a page.
-func HTML(w io.Writer, all []*lab.Comparison) error {
+func HTML(w io.Writer, all []*experiment.Comparison) error {
 	d, err := gather(all, true)
 	if err != nil {
 		return err
@@ -128,9 +128,9 @@
 	return pageTemplate.Execute(w, d)
 }
 
-func gather(all []*lab.Comparison, pictures bool) (*data, error) {
+func gather(all []*experiment.Comparison, pictures bool) (*data, error) {
 	p := &all[0].Plan
-	d := &data{Title: "Runs of the fleet's model", A: p.A.Spec, Confidence: 100 * lab.Confidence, Figures: measure.Figures,
+	d := &data{Title: "Runs of the fleet's model", A: p.A.Spec, Confidence: 100 * experiment.Confidence, Figures: measure.Figures,
 		Method: "Intervals are Student's, of the differences pair by pair."}
 	if p.Method == "bootstrap" {
 		d.Method = "Intervals are by percentiles of the bootstrap, of the differences pair by pair."
@@ -143,14 +143,14 @@
 		plan := s.Draw(c.Plan.First)
 		x := part{Name: s.Name, About: s.About, Length: s.Length.Duration.String(), Line: c.Line(), Seeds: len(c.Seeds), Instances: len(plan.Instances),
 			Nodes: len(plan.Nodes), Rate: plan.Rate}
-		if c.RunsB != nil && c.Rows[0].Verdict != lab.CannotTell {
+		if c.RunsB != nil && c.Rows[0].Verdict != experiment.CannotTell {
 			x.Verdict = c.Rows[0].Verdict.String()
 		}
 		for _, r := range c.Rows {
-			text := row{Name: r.Name, About: r.About, A: lab.Number(r.Figure, r.A), Note: r.Note}
+			text := row{Name: r.Name, About: r.About, A: experiment.Number(r.Figure, r.A), Note: r.Note}
 			if c.RunsB != nil {
-				text.B, text.Difference = lab.Number(r.Figure, r.B), lab.Signed(r.Figure, r.Difference)
-				if r.Verdict != lab.CannotTell {
+				text.B, text.Difference = experiment.Number(r.Figure, r.B), experiment.Signed(r.Figure, r.Difference)
+				if r.Verdict != experiment.CannotTell {
 					text.Class = r.Verdict.String()
 					text.Note = strings.TrimSpace(text.Class + " " + text.Note)
 				}
@@ -174,7 +174,7 @@
 }
 
 // Markdown writes the same without pictures.
-func Markdown(w io.Writer, all []*lab.Comparison) error {
+func Markdown(w io.Writer, all []*experiment.Comparison) error {
 	d, err := gather(all, false)
 	if err != nil {
 		return err
--- a/internal/lab/report/report_test.go
+++ b/internal/experiment/report/report_test.go
@@ -10,24 +10,24 @@
 	"strings"
 	"testing"
 
-	"dunlinsail/internal/lab"
-	"dunlinsail/internal/lab/library"
+	"dunlinsail/internal/experiment"
+	"dunlinsail/internal/experiment/library"
 )
 
-func compared(t *testing.T, b *lab.Variant) *lab.Comparison {
+func compared(t *testing.T, b *experiment.Variant) *experiment.Comparison {
 	t.Helper()
 	s, err := library.Load("calm")
 	if err == nil {
-		s, err = lab.Resize(s, []string{"length=4s", `about="a < b & \"c\""`}, 2, 5)
+		s, err = experiment.Resize(s, []string{"length=4s", `about="a < b & \"c\""`}, 2, 5)
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err := lab.ParseVariant(lab.Shipped)
+	a, err := experiment.ParseVariant(experiment.Shipped)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := (&lab.Runner{}).Compare(context.Background(), lab.Plan{Scenario: s, A: a, B: b, First: 1, Least: 3})
+	c, err := (&experiment.Runner{}).Compare(context.Background(), experiment.Plan{Scenario: s, A: a, B: b, First: 1, Least: 3})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,12 +36,12 @@
 
 // A page is sound, has its pictures in it, needs nothing from elsewhere, and takes no text for markup.
 func TestPage(t *testing.T) {
-	b, err := lab.ParseVariant("shipped,harm=0.4")
+	b, err := experiment.ParseVariant("shipped,harm=0.4")
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.Spec = "<script>alert(1)</script>"
-	for _, c := range []*lab.Comparison{compared(t, b), compared(t, nil)} {
+	for _, c := range []*experiment.Comparison{compared(t, b), compared(t, nil)} {
 		path := filepath.Join(t.TempDir(), "r.html")
 		if err := Write(path, c); err != nil {
 			t.Fatal(err)
--- a/internal/lab/scale.go
+++ b/internal/experiment/scale.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"context"
--- a/internal/lab/sweep.go
+++ b/internal/experiment/sweep.go
@@ -1,11 +1,11 @@
-package lab
+package experiment
 
 import (
 	"context"
 	"fmt"
 	"strings"
 
-	"dunlinsail/internal/lab/stats"
+	"dunlinsail/internal/experiment/stats"
 )
 
 // Axis is a key and the values that it takes: a variant's, as ParseVariant has them.
