--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -29,11 +29,11 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/port"
 	"dunlinsail/internal/standin/roster"
@@ -60,7 +60,7 @@
 	o       Options
 	plan    *scenario.Plan
 	site    *siteconfig.Site
-	habits  caller.Habits
+	habits  simclient.Habits
 	dir     string
 	base    time.Time
 	offset  atomic.Int64 // microseconds from base to the run's beginning
@@ -626,7 +626,7 @@
 
 // story is a client's.
 type story struct {
-	caller.Story
+	simclient.Story
 	class   *balancer.Class
 	worth   float64
 	within  bool
@@ -734,7 +734,7 @@
 }
 
 // tell lives a story to its end.
-func (r *run) tell(ctx context.Context, s *story, t caller.Try) {
+func (r *run) tell(ctx context.Context, s *story, t simclient.Try) {
 	for {
 		verdict, retryAfter := r.try(ctx, s, t)
 		r.mu.Lock()
@@ -754,7 +754,7 @@
 }
 
 // try makes one request and waits for what comes of it.
-func (r *run) try(ctx context.Context, s *story, t caller.Try) (caller.Verdict, Micros) {
+func (r *run) try(ctx context.Context, s *story, t simclient.Try) (simclient.Verdict, Micros) {
 	began := r.now()
 	r.count(func(*counts) { r.meter.Costs.Tries++ })
 	// A client that waits to the end is there a little longer, to see whether an answer that is owed comes at all.
@@ -798,23 +798,23 @@
 		if errors.Is(err, context.DeadlineExceeded) && t.Leaves == 0 && in.thawed.Load() < began {
 			r.count(func(c *counts) { c.late++ })
 		}
-		return caller.Broken, 0
+		return simclient.Broken, 0
 	}
 	if r.now() > t.Deadline {
-		return caller.Broken, 0 // it has left by then
+		return simclient.Broken, 0 // it has left by then
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		r.count(func(*counts) { r.meter.Costs.Useful += float64(s.worked) })
-		return caller.OK, 0
+		return simclient.OK, 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		var after float64
 		if text := resp.Header.Get("Retry-After"); text != "" {
 			after, _ = strconv.ParseFloat(text, 64)
 		}
-		return caller.Refused, Micros(after * 1e6)
+		return simclient.Refused, Micros(after * 1e6)
 	}
-	return caller.Failed, 0
+	return simclient.Failed, 0
 }
 
 // ---- What goes wrong ------------------------------------------------------------------
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -22,9 +22,9 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model"
-	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/simclient"
 )
 
 // digestOf is the digest of all that stands in some folders or files.
@@ -87,12 +87,12 @@
 }
 
 // replayed is the source of a plan's stories from a record.
-type replayed [][]caller.Story
+type replayed [][]simclient.Story
 
 // Stories gives those of an instance.
-func (r replayed) Stories(instance int) func() (caller.Story, bool) {
+func (r replayed) Stories(instance int) func() (simclient.Story, bool) {
 	at := 0
-	return func() (s caller.Story, ok bool) {
+	return func() (s simclient.Story, ok bool) {
 		if instance >= len(r) || at >= len(r[instance]) {
 			return s, false
 		}
@@ -163,13 +163,13 @@
 			}
 			id := uint64(instance)<<32 | uint64(n)<<4 | uint64(k&15)
 			w := works.For(id)
-			x := caller.Story{ID: id, Instance: instance, Process: processes[who], Class: class, Tenant: tenant, Object: q.Object, Began: began,
+			x := simclient.Story{ID: id, Instance: instance, Process: processes[who], Class: class, Tenant: tenant, Object: q.Object, Began: began,
 				Key: w.Uint64() | 1, Work: p.Classes[class].Draw(w)}
 			out[instance] = append(out[instance], x)
 		}
 	}
 	for i := range out {
-		slices.SortFunc(out[i], func(a, b caller.Story) int {
+		slices.SortFunc(out[i], func(a, b simclient.Story) int {
 			return cmp.Or(cmp.Compare(a.Began, b.Began), cmp.Compare(a.ID, b.ID))
 		})
 	}
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -10,10 +10,10 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/node"
+	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -45,8 +45,8 @@
 
 	open    []*try // taken and without an answer
 	listed  bool   // it has been told a list
-	stories func() (caller.Story, bool)
-	next    caller.Story
+	stories func() (simclient.Story, bool)
+	next    simclient.Story
 	probes  uint64
 	told    map[int]Micros // endpoints that this instance knows to be draining or gone, since when
 	last    Micros         // when discovery's last word will be here
--- a/internal/model/measure/faults_test.go
+++ b/internal/model/measure/faults_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/model/caller"
+	"dunlinsail/internal/simulation/simclient"
 )
 
 // judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve says, by
@@ -19,10 +19,10 @@
 		for class := range 2 {
 			for i := range 10 { // of 10 ms each: both classes ask for all that can be done
 				id++
-				x := caller.Story{ID: id, Class: class, Tenant: -1, Began: Micros(s)*second + Micros(i)*50_000, Work: 10_000, Outcome: caller.GivenUp}
+				x := simclient.Story{ID: id, Class: class, Tenant: -1, Began: Micros(s)*second + Micros(i)*50_000, Work: 10_000, Outcome: simclient.GivenUp}
 				x.Ended = x.Began + 50_000
 				if serve(s, class) {
-					x.Outcome = caller.Served
+					x.Outcome = simclient.Served
 				}
 				worth, within := m.Worth(&x)
 				m.Done(&x, 0, worth, within)
--- a/internal/model/measure/measure.go
+++ b/internal/model/measure/measure.go
@@ -15,7 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/model/caller"
+	"dunlinsail/internal/simulation/simclient"
 )
 
 // Micros is an instant or a duration in microseconds.
@@ -78,7 +78,7 @@
 	worth   worths
 	clients map[[2]int]*client // by instance and process
 	lateOut float64            // worth that was unserved when its aim had passed, and not given up before
-	counts  [caller.Outcomes]int64
+	counts  [simclient.Outcomes]int64
 	stories int64
 	refused int64 // stories that ended unserved with a refusal as their last word
 	tries   struct{ refused, failed, lost int64 }
@@ -142,7 +142,7 @@
 func (m *Meter) Bin() Micros { return m.bin }
 
 // Worth is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
-func (m *Meter) Worth(s *caller.Story) (worth float64, within bool) {
+func (m *Meter) Worth(s *simclient.Story) (worth float64, within bool) {
 	worth = m.judge.Classes[s.Class].Worth
 	if s.Tenant < 0 || s.Tenant >= len(m.buckets) || m.judge.Tenants[s.Tenant].Allowance <= 0 {
 		return worth, true
@@ -159,12 +159,12 @@
 }
 
 // Done takes in a story that has ended, with what Worth returned of it as it began. zone is its instance's.
-func (m *Meter) Done(s *caller.Story, zone int, worth float64, within bool) {
+func (m *Meter) Done(s *simclient.Story, zone int, worth float64, within bool) {
 	c := &m.judge.Classes[s.Class]
 	took := s.Ended - s.Began
 	earned := 0.0
-	inAim := s.Outcome == caller.Served && took <= c.Aim
-	if s.Outcome == caller.Served {
+	inAim := s.Outcome == simclient.Served && took <= c.Aim
+	if s.Outcome == simclient.Served {
 		earned = worth
 		if !inAim {
 			earned *= c.LateWorth
@@ -197,7 +197,7 @@
 	}
 	who.add(worth, earned)
 	who.asked++
-	if s.Outcome == caller.Served {
+	if s.Outcome == simclient.Served {
 		who.took = append(who.took, int32(min(took/100, math.MaxInt32)))
 	}
 	m.seconds[min(s.Began/second, int64(len(m.seconds)-1))].add(worth, earned)
@@ -211,12 +211,12 @@
 	switch {
 	case inAim:
 		b.served++
-	case s.Outcome == caller.Served:
+	case s.Outcome == simclient.Served:
 		b.late++
 	default:
 		b.unserved++
 	}
-	if s.Outcome == caller.Served {
+	if s.Outcome == simclient.Served {
 		b.took.RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond)))
 	}
 	b.refusedTries += int64(s.Refused)
@@ -299,7 +299,7 @@
 
 // Result sums up.
 func (m *Meter) Result() *Result {
-	r := &Result{Figures: map[string]float64{}, Costs: m.Costs, Stories: m.stories, Served: m.counts[caller.Served], Digest: hex(m.digest.Sum64())}
+	r := &Result{Figures: map[string]float64{}, Costs: m.Costs, Stories: m.stories, Served: m.counts[simclient.Served], Digest: hex(m.digest.Sum64())}
 	f, c, n := r.Figures, &m.Costs, math.Max(1, float64(m.stories))
 	f["whole"] = m.worth.share()
 	f["worst_window"] = m.worst()
@@ -323,8 +323,8 @@
 	}
 	f["modest"], f["p99_modest"] = m.modest()
 	f["p50"], f["p90"], f["p99"], f["p999"] = ms(all, 50), ms(all, 90), ms(all, 99), ms(all, 99.9)
-	f["served"] = float64(m.counts[caller.Served]) / n
-	f["unserved"] = float64(m.counts[caller.GivenUp]) / n
+	f["served"] = float64(m.counts[simclient.Served]) / n
+	f["unserved"] = float64(m.counts[simclient.GivenUp]) / n
 	f["tries"] = float64(c.Tries) / n
 	f["attempts"] = float64(c.Attempts) / n
 	f["refused"] = float64(m.tries.refused) / math.Max(1, float64(c.Tries))
--- a/internal/model/measure/order.go
+++ b/internal/model/measure/order.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"dunlinsail/internal/model/caller"
+	"dunlinsail/internal/simulation/simclient"
 )
 
 // World is what a run's endpoints and instances could do, as far as a plan says.
@@ -31,7 +31,7 @@
 }
 
 // done takes in a story. What began at an instance that takes nothing could not be served: it is left out.
-func (x *weigher) done(s *caller.Story, worth float64, inAim bool) {
+func (x *weigher) done(s *simclient.Story, worth float64, inAim bool) {
 	if x == nil || !x.world.Reached(s.Instance, s.Began) {
 		return
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,6 +1,6 @@
 // Package model plays a fleet in simulated time. What decides is linked, not written again: each instance is an
 // engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package node),
-// clients (package caller), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
+// clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
 // build: it reads no clock, and all that is left to chance is drawn from package lots, for whom it is meant. It knows
 // nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
 package model
@@ -19,10 +19,10 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -107,7 +107,7 @@
 	ownClass  []int // and among the settings' of each of the judge's
 	tenantOf  []int
 	ownTenant []int
-	habits    caller.Habits
+	habits    simclient.Habits
 
 	instances []*instance
 	endpoints []*endpoint
@@ -271,11 +271,11 @@
 	case evSubmit:
 		e.p.(*try).submit()
 	case evRefused:
-		e.p.(*try).over(caller.Broken, 0)
+		e.p.(*try).over(simclient.Broken, 0)
 	case evAnswer:
 		e.p.(*try).answered()
 	case evBroken:
-		e.p.(*try).over(caller.Broken, 0)
+		e.p.(*try).over(simclient.Broken, 0)
 	case evLeave:
 		e.p.(*try).leave()
 	case evWake:
@@ -344,7 +344,7 @@
 
 // story is a client's, with what the run needs of it.
 type story struct {
-	caller.Story
+	simclient.Story
 	run    *run
 	class  *balancer.Class // the judge's
 	worth  float64
@@ -369,7 +369,7 @@
 }
 
 // draws are what a client leaves to chance at a try.
-func (r *run) draws(s *caller.Story, try int) *rand.Rand { return r.callers.For(s.ID, uint64(try)) }
+func (r *run) draws(s *simclient.Story, try int) *rand.Rand { return r.callers.For(s.ID, uint64(try)) }
 
 func (r *run) arrive(in *instance) {
 	s := &story{Story: in.next, run: r}
@@ -395,7 +395,7 @@
 }
 
 // ask sends a try to its instance.
-func (s *story) ask(t caller.Try) {
+func (s *story) ask(t simclient.Try) {
 	r := s.run
 	r.meter.Costs.Tries++
 	x := &try{Try: t, story: s, in: r.instances[s.Instance], sent: r.now}
@@ -410,7 +410,7 @@
 
 // try is one request of a client.
 type try struct {
-	caller.Try
+	simclient.Try
 	story   *story
 	in      *instance
 	sent    Micros
@@ -436,11 +436,11 @@
 		if s, ok := t.answer.Reply.Answer.(*sending); ok {
 			r.meter.Costs.Useful += float64(s.job.Work)
 		}
-		t.over(caller.OK, 0)
+		t.over(simclient.OK, 0)
 	case engine.Refused, engine.Limited:
-		t.over(caller.Refused, t.answer.RetryAfter)
+		t.over(simclient.Refused, t.answer.RetryAfter)
 	default:
-		t.over(caller.Failed, 0)
+		t.over(simclient.Failed, 0)
 	}
 }
 
@@ -461,11 +461,11 @@
 			t.in.left(t)
 		}
 	}
-	t.over(caller.Broken, 0)
+	t.over(simclient.Broken, 0)
 }
 
 // over ends the try for its client.
-func (t *try) over(v caller.Verdict, retryAfter Micros) {
+func (t *try) over(v simclient.Verdict, retryAfter Micros) {
 	if t.done {
 		return
 	}
@@ -481,7 +481,7 @@
 	switch {
 	case again:
 		r.queue.push(at, evTry, 0, s)
-	case s.Outcome != caller.Open:
+	case s.Outcome != simclient.Open:
 		s.ended = true
 		r.open--
 		r.meter.Done(&s.Story, t.in.zone, s.worth, s.within)
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinsail/internal/model/caller"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/node"
+	"dunlinsail/internal/simulation/simclient"
 )
 
 // Micros is an instant or a duration in microseconds; a run begins at 0.
@@ -149,7 +149,7 @@
 
 // Source gives the stories of an instance in the order in which they begin, in place of those that a plan draws.
 type Source interface {
-	Stories(instance int) func() (caller.Story, bool)
+	Stories(instance int) func() (simclient.Story, bool)
 }
 
 // Draw returns the plan of a seed.
@@ -362,10 +362,10 @@
 }
 
 // Habits returns how the clients behave.
-func (p *Plan) Habits() caller.Habits {
+func (p *Plan) Habits() simclient.Habits {
 	c := &p.Clients
 	backoff := ends(c.Backoff)
-	return caller.Habits{Retries: c.Retries, TryShare: c.TryShare.ends(1), Backoff: [2]Micros{Micros(backoff[0]), Micros(backoff[1])},
+	return simclient.Habits{Retries: c.Retries, TryShare: c.TryShare.ends(1), Backoff: [2]Micros{Micros(backoff[0]), Micros(backoff[1])},
 		Honour: c.Honour, Impatient: c.Impatient, MarksRetry: c.MarksRetry, FreshKeys: c.FreshKeys}
 }
 
@@ -465,7 +465,7 @@
 }
 
 // Stories returns the stories that begin at an instance, one at each call, in their order, until there are none.
-func (p *Plan) Stories(instance int) func() (caller.Story, bool) {
+func (p *Plan) Stories(instance int) func() (simclient.Story, bool) {
 	if p.Source != nil {
 		return p.Source.Stories(instance)
 	}
@@ -490,14 +490,14 @@
 	rate := p.Rate * in.Share * most / float64(second)
 	at, n := 0.0, uint64(0)
 	end := float64(p.Length.Micros())
-	return func() (caller.Story, bool) {
+	return func() (simclient.Story, bool) {
 		if rate <= 0 {
-			return caller.Story{}, false
+			return simclient.Story{}, false
 		}
 		for {
 			at += arrivals.ExpFloat64() / rate
 			if at >= end {
-				return caller.Story{}, false
+				return simclient.Story{}, false
 			}
 			kinds.at(Micros(at))
 			if arrivals.Float64()*most >= p.Times(Micros(at))*kinds.sum {
@@ -506,7 +506,7 @@
 			id := uint64(instance)<<32 | n
 			n++
 			r := stories.For(id)
-			s := caller.Story{ID: id, Instance: instance, Began: Micros(at), Tenant: -1, Object: r.Uint64N(uint64(p.Clients.Objects))}
+			s := simclient.Story{ID: id, Instance: instance, Began: Micros(at), Tenant: -1, Object: r.Uint64N(uint64(p.Clients.Objects))}
 			var tenant int
 			s.Class, tenant, s.Process = kinds.pick(r)
 			if len(p.Tenants) > 0 {
--- a/internal/model/caller/caller_test.go
+++ b/internal/simulation/simclient/caller_test.go
@@ -1,4 +1,4 @@
-package caller
+package simclient
 
 import (
 	"math/rand/v2"
