Rename package model/node to simulation/simendpoint

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -1,7 +1,7 @@
 // Package processes plays a plan of the fleet's model on loopback, in real time: real daemons, endpoints behind sockets, a
 // discovery for each instance, and clients that ask by the plan's clock whether or not answers come, so that what waits is
 // measured from when it was wanted (no coordinated omission: Tene, "How NOT to measure latency", 2015). Endpoints and
-// clients are the same state machines as in the model (packages node and caller), and what it comes to is judged by the same
+// clients are the same state machines as in the model (packages simendpoint and caller), and what it comes to is judged by the same
 // meter: where a real run and the model differ, the difference is the daemon's, its sockets' and its machine's.
 package processes
 
@@ -31,9 +31,9 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
-	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
 	"dunlinsail/internal/simulation/simclient"
+	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/port"
 	"dunlinsail/internal/standin/roster"
@@ -154,7 +154,7 @@
 // group is endpoints that share which keys they have seen, and a lock for that.
 type group struct {
 	sync.Mutex
-	keys *node.Group
+	keys *simendpoint.Group
 }
 
 // group returns that of a cell.
@@ -166,7 +166,7 @@
 				window = max(window, c.Window)
 			}
 		}
-		r.groups[cell] = &group{keys: node.NewGroup(window)}
+		r.groups[cell] = &group{keys: simendpoint.NewGroup(window)}
 	}
 	return r.groups[cell]
 }
@@ -637,7 +637,7 @@
 
 // job is a request at an endpoint.
 type job struct {
-	node.Job
+	simendpoint.Job
 	story   *story
 	try     int
 	further bool // its instance sent the request before
@@ -666,7 +666,7 @@
 			c = i
 		}
 	}
-	j.Class, j.Work = s.Class, node.WorkOf(r.noise.For(id, which), s.Work, r.plan.Classes[c].Noise)
+	j.Class, j.Work = s.Class, simendpoint.WorkOf(r.noise.For(id, which), s.Work, r.plan.Classes[c].Noise)
 	j.Luck = r.luck.For(id, which).Float64()
 	if text := q.Header.Get("Idempotency-Key"); text != "" {
 		if j.Key, err = strconv.ParseUint(text, 16, 64); err != nil {
@@ -677,7 +677,7 @@
 }
 
 // ran notes that a request has run.
-func (r *run) ran(j *job, x node.Ended) {
+func (r *run) ran(j *job, x simendpoint.Ended) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := j.story
@@ -845,7 +845,7 @@
 
 // conditions sets what goes wrong at an endpoint by all that happens now.
 func (r *run) conditions(n int) {
-	var c node.Condition
+	var c simendpoint.Condition
 	now := r.now()
 	for i := range r.plan.Happenings {
 		h := &r.plan.Happenings[i]
--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/node.go
@@ -16,8 +16,8 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/model/measure"
-	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/standin/port"
 )
 
@@ -28,7 +28,7 @@
 	plan *scenario.Node
 
 	mu       *sync.Mutex // of its group
-	node     *node.Node
+	node     *simendpoint.Node
 	timer    *time.Timer
 	due      Micros // when the next request ends
 	draining bool
@@ -53,14 +53,14 @@
 
 // waiting is a request that an endpoint holds.
 type waiting struct {
-	ended chan node.Ended
+	ended chan simendpoint.Ended
 	lost  chan struct{} // closed when its process dies
 }
 
 func newEndpoint(r *run, n int) *endpoint {
 	p := &r.plan.Nodes[n]
 	g := r.group(p.Cell)
-	e := &endpoint{run: r, n: n, plan: p, mu: &g.Mutex, node: node.New(p.Config, g.keys), conns: map[net.Conn]struct{}{}}
+	e := &endpoint{run: r, n: n, plan: p, mu: &g.Mutex, node: simendpoint.New(p.Config, g.keys), conns: map[net.Conn]struct{}{}}
 	e.node.Start(0, !p.Cold)
 	e.timer = time.AfterFunc(time.Hour, e.woken)
 	for i := range r.plan.Instances {
@@ -195,7 +195,7 @@
 }
 
 // set changes what goes wrong.
-func (e *endpoint) set(c node.Condition) {
+func (e *endpoint) set(c simendpoint.Condition) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.work()
@@ -328,12 +328,12 @@
 			c.cross++
 		}
 	})
-	wait := &waiting{make(chan node.Ended, 1), make(chan struct{})}
+	wait := &waiting{make(chan simendpoint.Ended, 1), make(chan struct{})}
 	job.Job.Host = wait
 	e.mu.Lock()
 	e.work()
 	fell := e.node.Fell()
-	v := node.Full
+	v := simendpoint.Full
 	if e.node.Up() {
 		v = e.node.Arrive(e.run.now(), &job.Job)
 	}
@@ -343,20 +343,20 @@
 	e.most = max(e.most, e.node.Held())
 	e.work()
 	e.mu.Unlock()
-	if v == node.Taken {
+	if v == simendpoint.Taken {
 		v = f.wait(r.Context(), job, wait)
 	}
 	f.way()
 	if f.silent(true) {
-		v = node.Muted
+		v = simendpoint.Muted
 	}
 	switch v {
-	case node.Full:
+	case simendpoint.Full:
 		w.Header().Set("X-Never-Ran", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case node.Error:
+	case simendpoint.Error:
 		w.WriteHeader(http.StatusInternalServerError)
-	case node.Muted:
+	case simendpoint.Muted:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	default:
@@ -365,7 +365,7 @@
 }
 
 // wait waits for a request's end at the endpoint.
-func (f *front) wait(ctx context.Context, j *job, w *waiting) node.Verdict {
+func (f *front) wait(ctx context.Context, j *job, w *waiting) simendpoint.Verdict {
 	select {
 	case x := <-w.ended:
 		f.e.run.ran(j, x)
--- a/internal/model/discovery.go
+++ b/internal/model/discovery.go
@@ -7,7 +7,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/model/lots"
-	"dunlinsail/internal/model/node"
+	"dunlinsail/internal/simulation/simendpoint"
 )
 
 // truth is how things stand with the endpoints, and what discovery has heard of it.
@@ -18,7 +18,7 @@
 	stale  Micros // what it hears comes later by this
 	silent bool   // it says nothing
 	held   []*news
-	groups map[int]*node.Group
+	groups map[int]*simendpoint.Group
 	draws  *lots.Stream
 	count  uint64
 	all    []engine.Member // the whole list of a generation
@@ -27,7 +27,7 @@
 }
 
 func newTruth(r *run) *truth {
-	t := &truth{run: r, groups: map[int]*node.Group{}, draws: lots.New(r.plan.Seed, "discovery"), gen: 1, last: make([]Micros, len(r.plan.Nodes))}
+	t := &truth{run: r, groups: map[int]*simendpoint.Group{}, draws: lots.New(r.plan.Seed, "discovery"), gen: 1, last: make([]Micros, len(r.plan.Nodes))}
 	for i := range r.plan.Nodes {
 		m := t.member(i, balancer.Ready)
 		if r.plan.Nodes[i].Cold {
@@ -39,7 +39,7 @@
 }
 
 // group returns the endpoints that share which keys they have seen: for as long as the longest window of a class.
-func (t *truth) group(cell int) *node.Group {
+func (t *truth) group(cell int) *simendpoint.Group {
 	if t.groups[cell] == nil {
 		var window Micros
 		for _, c := range t.run.o.Judge.Classes {
@@ -47,7 +47,7 @@
 				window = max(window, c.Window)
 			}
 		}
-		t.groups[cell] = node.NewGroup(window)
+		t.groups[cell] = simendpoint.NewGroup(window)
 	}
 	return t.groups[cell]
 }
--- a/internal/model/endpoint.go
+++ b/internal/model/endpoint.go
@@ -3,14 +3,14 @@
 import (
 	"dunlinsail/balancer"
 	"dunlinsail/internal/model/lots"
-	"dunlinsail/internal/model/node"
+	"dunlinsail/internal/simulation/simendpoint"
 )
 
 // endpoint is an endpoint of the run, with what its machine does.
 type endpoint struct {
 	run  *run
 	n    int
-	node *node.Node
+	node *simendpoint.Node
 	life uint32 // changes at each start
 	mute bool   // its machine has vanished: nothing is heard of it
 	at   Micros // the instant of the event that is scheduled; 0 is none
@@ -27,7 +27,7 @@
 
 func newEndpoint(r *run, n int) *endpoint {
 	p := &r.plan.Nodes[n]
-	e := &endpoint{run: r, n: n, node: node.New(p.Config, r.truth.group(p.Cell)), life: 1}
+	e := &endpoint{run: r, n: n, node: simendpoint.New(p.Config, r.truth.group(p.Cell)), life: 1}
 	e.node.Start(0, !p.Cold)
 	if p.PauseEvery > 0 && p.PauseFor > 0 {
 		e.nextPause()
@@ -38,7 +38,7 @@
 func (e *endpoint) zone() int { return e.run.plan.Nodes[e.n].Zone }
 
 // arrive takes in a request.
-func (e *endpoint) arrive(j *node.Job) node.Verdict {
+func (e *endpoint) arrive(j *simendpoint.Job) simendpoint.Verdict {
 	e.work()
 	fell := e.node.Fell()
 	v := e.node.Arrive(e.run.now, j)
@@ -85,7 +85,7 @@
 }
 
 // ended tells what came of a request.
-func (e *endpoint) ended(x node.Ended) {
+func (e *endpoint) ended(x simendpoint.Ended) {
 	s := x.Job.Host.(*sending)
 	m := &e.run.meter.Costs
 	m.Worked += float64(x.Job.Work)
@@ -108,9 +108,9 @@
 		return
 	}
 	switch x.Verdict {
-	case node.Done, node.Repeat:
+	case simendpoint.Done, simendpoint.Repeat:
 		s.reply(balancer.OK)
-	case node.Error:
+	case simendpoint.Error:
 		s.reply(balancer.Error)
 	}
 }
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/simendpoint"
 )
 
 // schedule schedules what happens.
@@ -22,7 +22,7 @@
 
 // conditions sets what goes wrong at an endpoint by all that happens now.
 func (r *run) conditions(n int) {
-	var c node.Condition
+	var c simendpoint.Condition
 	for i := range r.plan.Happenings {
 		h := &r.plan.Happenings[i]
 		if r.now < h.At || r.now >= h.Until {
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -12,8 +12,8 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
-	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/simulation/simclient"
+	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -411,7 +411,7 @@
 	conn    uint32 // life of the endpoint that its connection belongs to
 	began   Micros
 	phase   phase
-	job     node.Job
+	job     simendpoint.Job
 	status  balancer.Status
 	wanted  bool // somebody waits for it
 	counted bool // its work is the endpoint's
@@ -612,15 +612,15 @@
 	who, which := s.who()
 	class := &r.plan.Classes[story.run.planClass(story.Class)]
 	draws := r.noise.For(who, which)
-	s.job = node.Job{Class: story.Class, Work: node.WorkOf(draws, story.Work, class.Noise), Key: s.try.Key, Luck: r.luck.For(who, which).Float64(), Host: s}
+	s.job = simendpoint.Job{Class: story.Class, Work: simendpoint.WorkOf(draws, story.Work, class.Noise), Key: s.try.Key, Luck: r.luck.For(who, which).Float64(), Host: s}
 	if story.class.Repeat != balancer.Keyed {
 		s.job.Key = 0
 	}
 	r.trace(s.try, s.a.Number, r.plan.Nodes[e.n].Name, "reaches")
 	switch e.arrive(&s.job) {
-	case node.Full:
+	case simendpoint.Full:
 		s.reply(balancer.Full)
-	case node.Error:
+	case simendpoint.Error:
 		s.reply(balancer.Error)
 	default:
 		s.counted = true
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,5 +1,5 @@
 // Package model plays a fleet in simulated time. What decides is linked, not written again: each instance is an
-// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package node),
+// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package simendpoint),
 // clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
 // build: it reads no clock, and all that is left to chance is drawn from package lots, for whom it is meant. It knows
 // nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -8,8 +8,8 @@
 	"slices"
 
 	"dunlinsail/internal/model/lots"
-	"dunlinsail/internal/model/node"
 	"dunlinsail/internal/simulation/simclient"
+	"dunlinsail/internal/simulation/simendpoint"
 )
 
 // Micros is an instant or a duration in microseconds; a run begins at 0.
@@ -35,7 +35,7 @@
 	Kind, Zone int
 	Cell       int
 	Cold       bool
-	Config     node.Config
+	Config     simendpoint.Config
 	Idle       Micros
 	PauseEvery Micros
 	PauseFor   Micros
@@ -177,7 +177,7 @@
 
 func (p *Plan) drawNodes() {
 	stream := lots.New(p.Seed, "nodes")
-	cancels := map[string]node.Cancel{"none": node.CancelNone, "queued": node.CancelQueued, "all": node.CancelAll}
+	cancels := map[string]simendpoint.Cancel{"none": simendpoint.CancelNone, "queued": simendpoint.CancelQueued, "all": simendpoint.CancelAll}
 	for kind, n := range p.Scenario.Nodes {
 		var zones []int
 		for i, z := range p.Fleet.Zones {
@@ -187,7 +187,7 @@
 		}
 		for i := range n.Count {
 			r := stream.For(uint64(kind), uint64(i))
-			c := node.Config{Cores: n.Cores, Speed: lots.Range(r, n.Speed.ends(1)), Queue: n.Queue, ColdFrom: n.ColdFrom,
+			c := simendpoint.Config{Cores: n.Cores, Speed: lots.Range(r, n.Speed.ends(1)), Queue: n.Queue, ColdFrom: n.ColdFrom,
 				ColdFor: n.ColdFor.Micros(), Fall: n.Fall, FallAfter: n.FallAfter.Micros(), Cancel: cancels[n.Cancel], Errors: n.Errors,
 				CrowdAt: n.CrowdAt, Crowd: n.Crowd, ProbeWork: n.ProbeWork.Micros(), Handshake: n.Handshake.Micros(), Conns: n.Conns,
 				Report: n.Report.Micros(), Noise: n.Noise}
@@ -335,7 +335,7 @@
 
 // Condition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of the
 // scenario's classes has at endpoints.
-func (h *Happening) Condition(c *node.Condition, now Micros, k int, classOf []int) {
+func (h *Happening) Condition(c *simendpoint.Condition, now Micros, k int, classOf []int) {
 	size := h.Sizes[k]
 	switch h.What {
 	case "slow", "lies":
--- a/internal/model/node/node_test.go
+++ b/internal/simulation/simendpoint/node_test.go
@@ -1,4 +1,4 @@
-package node
+package simendpoint
 
 import (
 	"math/rand/v2"
