--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -29,9 +29,9 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
@@ -81,10 +81,10 @@
 	cuts    [][2]int
 	stale   Micros
 	silent  bool
-	noise   *lots.Stream
-	luck    *lots.Stream
-	callers *lots.Stream
-	draws   *lots.Stream
+	noise   *randstream.Stream
+	luck    *randstream.Stream
+	callers *randstream.Stream
+	draws   *randstream.Stream
 	changes uint64
 	last    []Micros
 	stories map[uint64]*story
@@ -180,7 +180,7 @@
 	r := &run{work: &labour{working: map[int]bool{}}, o: o, plan: o.Plan, own: own, site: &own.Site, habits: o.Plan.Habits(), groups: map[int]*group{}, reports: rand.New(&locked{src: rand.NewPCG(o.Plan.Seed, 5)}),
 		stories: map[uint64]*story{}, last: make([]Micros, len(o.Plan.Nodes))}
 	seed := o.Plan.Seed
-	r.noise, r.luck, r.callers, r.draws = lots.New(seed, "noise"), lots.New(seed, "luck"), lots.New(seed, "callers"), lots.New(seed, "discovery")
+	r.noise, r.luck, r.callers, r.draws = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "discovery")
 	if err := r.fit(); err != nil {
 		return nil, err
 	}
@@ -1044,7 +1044,7 @@
 // pauses stops an endpoint for a moment now and then, at the same instants as in the model.
 func (r *run) pauses(ctx context.Context, n int) {
 	p := r.endpoints[n].plan
-	stream := lots.New(r.plan.Seed, "pauses")
+	stream := randstream.New(r.plan.Seed, "pauses")
 	at := Micros(0)
 	for k := uint64(1); ; k++ {
 		at += 1 + Micros(stream.For(uint64(n), k).ExpFloat64()*float64(p.PauseEvery))
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -22,8 +22,8 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/experiment/stats"
 	"dunlinsail/internal/model"
-	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 )
 
@@ -127,8 +127,8 @@
 	from += p.Replay.Start.Micros()
 	length := p.Length.Micros()
 	processes := map[string]int{}
-	works := lots.New(p.Seed, "stories")
-	copies := lots.New(p.Seed, "copies")
+	works := randstream.New(p.Seed, "stories")
+	copies := randstream.New(p.Seed, "copies")
 	out := make(replayed, len(p.Instances))
 	for n, s := range stories {
 		q := s.First()
--- a/internal/model/discovery.go
+++ b/internal/model/discovery.go
@@ -6,7 +6,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/model/lots"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
@@ -19,7 +19,7 @@
 	silent bool   // it says nothing
 	held   []*news
 	groups map[int]*simendpoint.Group
-	draws  *lots.Stream
+	draws  *randstream.Stream
 	count  uint64
 	all    []engine.Member // the whole list of a generation
 	allGen int64
@@ -27,7 +27,7 @@
 }
 
 func newTruth(r *run) *truth {
-	t := &truth{run: r, groups: map[int]*simendpoint.Group{}, draws: lots.New(r.plan.Seed, "discovery"), gen: 1, last: make([]Micros, len(r.plan.Nodes))}
+	t := &truth{run: r, groups: map[int]*simendpoint.Group{}, draws: randstream.New(r.plan.Seed, "discovery"), gen: 1, last: make([]Micros, len(r.plan.Nodes))}
 	for i := range r.plan.Nodes {
 		m := t.member(i, balancer.Ready)
 		if r.plan.Nodes[i].Cold {
--- a/internal/model/endpoint.go
+++ b/internal/model/endpoint.go
@@ -2,7 +2,7 @@
 
 import (
 	"dunlinsail/balancer"
-	"dunlinsail/internal/model/lots"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
@@ -184,13 +184,13 @@
 func (e *endpoint) nextPause() {
 	p := &e.run.plan.Nodes[e.n]
 	e.groups++
-	r := lots.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups)
+	r := randstream.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups)
 	e.run.queue.push(e.run.now+1+Micros(r.ExpFloat64()*float64(p.PauseEvery)), evPause, uint32(e.n), nil)
 }
 
 func (e *endpoint) pause() {
 	p := &e.run.plan.Nodes[e.n]
-	r := lots.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups, 1)
+	r := randstream.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups, 1)
 	e.work()
 	if e.node.Up() {
 		e.node.Pause(e.run.now, Micros(r.ExpFloat64()*float64(p.PauseFor)))
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -10,8 +10,8 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
@@ -64,7 +64,7 @@
 
 func newInstance(r *run, n int) (*instance, error) {
 	p := &r.plan.Instances[n]
-	in := &instance{run: r, n: n, zone: p.Zone, site: r.settings.Site, down: true, seed: lots.New(r.plan.Seed, "decisions").For(uint64(n), r.settings.Lots).Uint64()}
+	in := &instance{run: r, n: n, zone: p.Zone, site: r.settings.Site, down: true, seed: randstream.New(r.plan.Seed, "decisions").For(uint64(n), r.settings.Lots).Uint64()}
 	s := &in.site.Settings
 	s.Balancers, s.Position = len(r.plan.Instances), n
 	s.Zone, s.Zones = zoneOf(in.site.Zones, r.plan.Fleet.Zones[p.Zone]), len(in.site.Zones)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -1,7 +1,7 @@
 // Package model plays a fleet in simulated time. What decides is linked, not written again: each instance is an
 // engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package simendpoint),
 // clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
-// build: it reads no clock, and all that is left to chance is drawn from package lots, for whom it is meant. It knows
+// build: it reads no clock, and all that is left to chance is drawn from package randstream, for whom it is meant. It knows
 // nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
 package model
 
@@ -19,9 +19,9 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/measure"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/siteconfig"
 )
@@ -115,7 +115,7 @@
 	truth     *truth
 	network   network
 
-	noise, luck, callers, reports *lots.Stream
+	noise, luck, callers, reports *randstream.Stream
 	meter                         *measure.Meter
 	open                          int // stories
 	arriving                      int // instances that have stories to come
@@ -134,7 +134,7 @@
 		return nil, errors.New("the scenario plays a record again, and that was not read")
 	}
 	seed := o.Plan.Seed
-	r.noise, r.luck, r.callers, r.reports = lots.New(seed, "noise"), lots.New(seed, "luck"), lots.New(seed, "callers"), lots.New(seed, "reports")
+	r.noise, r.luck, r.callers, r.reports = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "reports")
 	r.meter = measure.New(o.Judge, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
 	r.network = newNetwork(o.Plan)
 	r.truth = newTruth(r)
--- a/internal/model/network.go
+++ b/internal/model/network.go
@@ -3,15 +3,15 @@
 import (
 	"math"
 
-	"dunlinsail/internal/model/lots"
 	"dunlinsail/internal/model/scenario"
+	"dunlinsail/internal/simulation/randstream"
 )
 
 // network says how long messages take. What one takes follows from who sends it for what, so that it is the same
 // whatever else goes on.
 type network struct {
 	plan   *scenario.Plan
-	stream *lots.Stream
+	stream *randstream.Stream
 	cuts   [][2]int // pairs of zones between which nothing comes through; a zone of -1 is each
 	jitter float64
 	loss   float64
@@ -22,7 +22,7 @@
 
 func newNetwork(p *scenario.Plan) network {
 	n := &p.Network
-	return network{plan: p, stream: lots.New(p.Seed, "network"), jitter: n.Jitter, loss: n.Loss, again: float64(n.Retransmit.Micros()),
+	return network{plan: p, stream: randstream.New(p.Seed, "network"), jitter: n.Jitter, loss: n.Loss, again: float64(n.Retransmit.Micros()),
 		ways:  [3]float64{float64(n.Client.Micros()), float64(n.Within.Micros()), float64(n.Between.Micros())},
 		slack: float64(p.Host.Slack.Micros())}
 }
--- a/internal/model/scenario/plan.go
+++ b/internal/model/scenario/plan.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinsail/internal/model/lots"
+	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/simulation/simendpoint"
 )
@@ -176,7 +176,7 @@
 }
 
 func (p *Plan) drawNodes() {
-	stream := lots.New(p.Seed, "nodes")
+	stream := randstream.New(p.Seed, "nodes")
 	cancels := map[string]simendpoint.Cancel{"none": simendpoint.CancelNone, "queued": simendpoint.CancelQueued, "all": simendpoint.CancelAll}
 	for kind, n := range p.Scenario.Nodes {
 		var zones []int
@@ -187,7 +187,7 @@
 		}
 		for i := range n.Count {
 			r := stream.For(uint64(kind), uint64(i))
-			c := simendpoint.Config{Cores: n.Cores, Speed: lots.Range(r, n.Speed.ends(1)), Queue: n.Queue, ColdFrom: n.ColdFrom,
+			c := simendpoint.Config{Cores: n.Cores, Speed: randstream.Range(r, n.Speed.ends(1)), Queue: n.Queue, ColdFrom: n.ColdFrom,
 				ColdFor: n.ColdFor.Micros(), Fall: n.Fall, FallAfter: n.FallAfter.Micros(), Cancel: cancels[n.Cancel], Errors: n.Errors,
 				CrowdAt: n.CrowdAt, Crowd: n.Crowd, ProbeWork: n.ProbeWork.Micros(), Handshake: n.Handshake.Micros(), Conns: n.Conns,
 				Report: n.Report.Micros(), Noise: n.Noise}
@@ -208,12 +208,12 @@
 }
 
 func (p *Plan) drawInstances() {
-	stream := lots.New(p.Seed, "instances")
+	stream := randstream.New(p.Seed, "instances")
 	var sum float64
 	zones := len(p.Fleet.Zones)
 	for i := range p.Fleet.Instances {
 		r := stream.For(uint64(i))
-		in := Instance{Zone: i % zones, Share: lots.LogNormal(r, 1, p.Fleet.Uneven), Skew: Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
+		in := Instance{Zone: i % zones, Share: randstream.LogNormal(r, 1, p.Fleet.Uneven), Skew: Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
 			Drift: (2*r.Float64() - 1) * p.Clocks.Drift}
 		if in.Zone == 0 {
 			in.Share *= 1 + p.Fleet.ZoneSkew*float64(zones-1)
@@ -240,7 +240,7 @@
 func (p *Plan) subset(instance int) []int {
 	size := p.Fleet.Subset
 	groups := len(p.Nodes) / size
-	order := lots.New(p.Seed, "subset").For(uint64(instance / groups)).Perm(len(p.Nodes))
+	order := randstream.New(p.Seed, "subset").For(uint64(instance / groups)).Perm(len(p.Nodes))
 	at := (instance % groups) * size
 	mine := slices.Clone(order[at : at+size])
 	slices.Sort(mine)
@@ -260,7 +260,7 @@
 	case e.Count > 0:
 		n = min(n, e.Count)
 	case len(e.Part) > 0:
-		n = int(math.Round(lots.Range(r, e.Part.ends(1)) * float64(n)))
+		n = int(math.Round(randstream.Range(r, e.Part.ends(1)) * float64(n)))
 	}
 	return some(r, from, n)
 }
@@ -287,20 +287,20 @@
 	}
 	n := len(from)
 	if len(e.Instances) > 0 {
-		n = int(math.Round(lots.Range(r, e.Instances.ends(1)) * float64(n)))
+		n = int(math.Round(randstream.Range(r, e.Instances.ends(1)) * float64(n)))
 	}
 	return some(r, from, n)
 }
 
 func (p *Plan) drawHappenings() {
-	stream := lots.New(p.Seed, "events")
+	stream := randstream.New(p.Seed, "events")
 	for i := range p.Events {
 		e := &p.Events[i]
 		r := stream.For(uint64(i))
-		h := Happening{What: e.What, At: Micros(lots.Range(r, ends(e.At))), Until: math.MaxInt64, Class: -1, Tenant: -1, Zone: -1, To: -1, One: e.One,
-			Every: e.Every.Micros(), Delay: Micros(lots.Range(r, ends(e.Delay)))}
+		h := Happening{What: e.What, At: Micros(randstream.Range(r, ends(e.At))), Until: math.MaxInt64, Class: -1, Tenant: -1, Zone: -1, To: -1, One: e.One,
+			Every: e.Every.Micros(), Delay: Micros(randstream.Range(r, ends(e.Delay)))}
 		if e.For != nil {
-			h.Until = h.At + Micros(lots.Range(r, ends(e.For)))
+			h.Until = h.At + Micros(randstream.Range(r, ends(e.For)))
 		}
 		for j, c := range p.Classes {
 			if c.Name == e.Class {
@@ -321,10 +321,10 @@
 		if what[e.What].nodes {
 			h.Nodes = p.choose(e, r)
 			for range h.Nodes {
-				h.Sizes = append(h.Sizes, lots.Range(r, e.Size.ends(0)))
+				h.Sizes = append(h.Sizes, randstream.Range(r, e.Size.ends(0)))
 			}
 		} else {
-			h.Sizes = []float64{lots.Range(r, e.Size.ends(0))}
+			h.Sizes = []float64{randstream.Range(r, e.Size.ends(0))}
 		}
 		h.Way, h.Others = e.Way, sorted(e.Others)
 		h.Instances = p.chooseInstances(e, stream.For(uint64(i), 1))
@@ -470,8 +470,8 @@
 		return p.Source.Stories(instance)
 	}
 	in := &p.Instances[instance]
-	arrivals := lots.New(p.Seed, "arrivals").Source(uint64(instance))
-	stories := lots.New(p.Seed, "stories")
+	arrivals := randstream.New(p.Seed, "arrivals").Source(uint64(instance))
+	stories := randstream.New(p.Seed, "stories")
 	kinds := p.kinds(instance)
 	// Thinning (Lewis, Shedler: "Simulation of nonhomogeneous Poisson processes by thinning", 1979): the rate is drawn at
 	// its height, and a part of the arrivals taken.
@@ -527,7 +527,7 @@
 	case "exponential":
 		mean *= r.ExpFloat64()
 	default:
-		mean = lots.LogNormal(r, mean, c.CV)
+		mean = randstream.LogNormal(r, mean, c.CV)
 	}
 	return max(1, Micros(mean))
 }
--- a/internal/simulation/simendpoint/node.go
+++ b/internal/simulation/simendpoint/node.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinsail/internal/model/lots"
+	"dunlinsail/internal/simulation/randstream"
 )
 
 // Micros is an instant or a duration in microseconds.
@@ -498,5 +498,5 @@
 
 // WorkOf draws what an attempt of a request costs: the request's own work, and what differs from one run to the next.
 func WorkOf(r *rand.Rand, work Micros, noise float64) Micros {
-	return max(1, Micros(lots.LogNormal(r, float64(work), noise)))
+	return max(1, Micros(randstream.LogNormal(r, float64(work), noise)))
 }
