Rename package model/talk to simulation/gossipsim

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/model/talk"
 	"dunlinsail/internal/peers"
+	"dunlinsail/internal/simulation/gossipsim"
 )
 
 type wordsCmd struct {
@@ -40,7 +40,7 @@
 	if c.Members < 1 || c.Seeds < 1 {
 		return fmt.Errorf("--members and --seeds must be positive")
 	}
-	cases := talk.Cases(c.Members)
+	cases := gossipsim.Cases(c.Members)
 	names := c.Cases
 	if len(names) == 0 {
 		names = append(slices.Sorted(maps.Keys(cases)), "random")
@@ -76,7 +76,7 @@
 	return nil
 }
 
-func (c *wordsCmd) play(ctx context.Context, name string, faults []talk.Fault) (t told, err error) {
+func (c *wordsCmd) play(ctx context.Context, name string, faults []gossipsim.Fault) (t told, err error) {
 	size := func(w coordination.Word) int {
 		text, err := peers.Encode("instance-100", "instance-100", w)
 		if err != nil {
@@ -90,8 +90,8 @@
 	for range runtime.GOMAXPROCS(0) {
 		all.Go(func() {
 			for seed := range seeds {
-				s := talk.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
-					Fleet: talk.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
+				s := gossipsim.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
+					Fleet: gossipsim.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
 				if c.Every > 0 {
 					s.Fleet.Loans.Every = c.Every.Microseconds()
 					s.Fleet.Loans.Length = max(s.Fleet.Loans.Length, 8*s.Fleet.Loans.Every)
@@ -101,9 +101,9 @@
 					s.Fleet.Loans.Ready = 1 // nothing lies idle where one is killed
 				}
 				if name == "random" {
-					s.Faults = talk.Random(seed, c.Members, s.Length)
+					s.Faults = gossipsim.Random(seed, c.Members, s.Length)
 				}
-				r, failed := talk.Run(s)
+				r, failed := gossipsim.Run(s)
 				mu.Lock()
 				if failed != nil {
 					err = failed
--- a/internal/model/talk/talk.go
+++ b/internal/simulation/gossipsim/talk.go
@@ -1,8 +1,8 @@
-// Package talk plays the words between the instances of a fleet in simulated time: members (package decide/fleet) with clocks
+// Package gossipsim plays the words between the instances of a fleet in simulated time: members (package decide/fleet) with clocks
 // of their own rates, ways that lose, delay, double and cut, and what goes wrong with them. It checks in every second of true
 // time that what all spend of each budget is within it, and tells how much of it is used and what the words cost. A run is a pure
 // function of its settings. It does no I/O, and knows nothing of requests or endpoints.
-package talk
+package gossipsim
 
 import (
 	"container/heap"
--- a/internal/model/talk/talk_test.go
+++ b/internal/simulation/gossipsim/talk_test.go
@@ -1,4 +1,4 @@
-package talk
+package gossipsim
 
 import (
 	"testing"
