Rename package standin/steward to fake/xdsserver

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else.

--- a/internal/bench/versions.go
+++ b/internal/bench/versions.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/steward"
 )
 
 // Versions measures how long a version takes from the service to being applied, what it costs on the request path beside the
@@ -38,7 +38,7 @@
 		return err
 	}
 	plain.stop()
-	service, err := steward.Start(steward.Options{})
+	service, err := xdsserver.Start(xdsserver.Options{})
 	if err != nil {
 		return err
 	}
@@ -144,7 +144,7 @@
 	for i := range resources {
 		all = append(all, config.Resource{Kind: "class", Name: fmt.Sprint("class-", i), Fields: map[string]any{"repeat": "keyed", "group": "cell", "window": "400ms", "aim": "250ms", "give_up": "600ms", "worth": float64(i)}})
 	}
-	service, err := steward.Start(steward.Options{})
+	service, err := xdsserver.Start(xdsserver.Options{})
 	if err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 				for service.Streams() == 0 {
 					time.Sleep(time.Millisecond)
 				}
-				r, err := steward.Response("1", all, nil)
+				r, err := xdsserver.Response("1", all, nil)
 				if err != nil {
 					return err
 				}
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -28,12 +28,12 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/standin/roster"
-	"dunlinsail/internal/standin/steward"
 )
 
 func TestMain(m *testing.M) {
@@ -49,7 +49,7 @@
 	roster    *roster.Server
 	ledger    *endpoint.Ledger
 	endpoints []*endpoint.Server
-	steward   *steward.Service // nil without one
+	steward   *xdsserver.Service // nil without one
 	dir       string
 }
 
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -14,10 +14,10 @@
 
 	"dunlinsail/internal/config"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/steward"
 )
 
 // managed returns the edits of a world's file that have versions come from a service; more are edits of its table control.
@@ -38,10 +38,10 @@
 }
 
 // withSteward gives a world a control service.
-func (w *world) withSteward(t *testing.T) *steward.Service {
+func (w *world) withSteward(t *testing.T) *xdsserver.Service {
 	t.Helper()
 	var err error
-	if w.steward, err = steward.Start(steward.Options{}); err != nil {
+	if w.steward, err = xdsserver.Start(xdsserver.Options{}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { w.steward.Close() })
@@ -69,7 +69,7 @@
 	return peer.Within(t, got, "what runs"), c
 }
 
-func eventually(t *testing.T, s *steward.Service, version, say string) {
+func eventually(t *testing.T, s *xdsserver.Service, version, say string) {
 	t.Helper()
 	for end := time.Now().Add(2 * peer.Soon); !s.Told("", version, say); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -78,7 +78,7 @@
 	}
 }
 
-func set(t *testing.T, s *steward.Service, version string, all []config.Resource, release map[string]any) {
+func set(t *testing.T, s *xdsserver.Service, version string, all []config.Resource, release map[string]any) {
 	t.Helper()
 	if err := s.Set(version, all, release); err != nil {
 		t.Fatal(err)
@@ -358,7 +358,7 @@
 }
 
 // runFleet has twenty instances serve while a control service sends versions, wave by wave, or none.
-func runFleet(t *testing.T, changes func(w *world, s *steward.Service, nodes []string)) fleet {
+func runFleet(t *testing.T, changes func(w *world, s *xdsserver.Service, nodes []string)) fleet {
 	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	s := w.withSteward(t)
 	var nodes []string
@@ -407,7 +407,7 @@
 	rand.New(rand.NewPCG(5, 5)).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	t.Log(order)
 	began := time.Now()
-	with := runFleet(t, func(w *world, s *steward.Service, nodes []string) {
+	with := runFleet(t, func(w *world, s *xdsserver.Service, nodes []string) {
 		bad := 0
 		said := func(version, text string, by []string) {
 			t.Helper()
@@ -448,7 +448,7 @@
 		}
 	})
 	length := time.Since(began)
-	without := runFleet(t, func(*world, *steward.Service, []string) { time.Sleep(length) })
+	without := runFleet(t, func(*world, *xdsserver.Service, []string) { time.Sleep(length) })
 	a, b := float64(with.served)/float64(with.asked), float64(without.served)/float64(without.asked)
 	t.Logf("%v: with versions %d of %d served, longest gap %v; without %d of %d, %v", length, with.served, with.asked, with.gap, without.served, without.asked, without.gap)
 	if a < b-0.01 || with.failed > without.failed+2 {
--- a/internal/standin/steward/steward.go
+++ b/internal/fake/xdsserver/steward.go
@@ -1,6 +1,6 @@
-// Package steward is a stand-in control service: it speaks the xDS transport protocol, state of the world, as its public
+// Package xdsserver is a stand-in control service: it speaks the xDS transport protocol, state of the world, as its public
 // description has it, sends what it is told to send, also what no sound service would, and notes what is answered.
-package steward
+package xdsserver
 
 import (
 	"fmt"
--- a/internal/xdsclient/control_test.go
+++ b/internal/xdsclient/control_test.go
@@ -27,8 +27,8 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/steward"
 	"dunlinsail/internal/stricttoml"
 	"dunlinsail/internal/xdsclient"
 )
@@ -77,9 +77,9 @@
 	return f
 }
 
-func begin(t *testing.T, o steward.Options) *steward.Service {
+func begin(t *testing.T, o xdsserver.Options) *xdsserver.Service {
 	t.Helper()
-	s, err := steward.Start(o)
+	s, err := xdsserver.Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,7 +93,7 @@
 
 // A version arrives as it was sent, and what is said of it reaches the service with its nonce.
 func TestSentAndAnswered(t *testing.T) {
-	s := begin(t, steward.Options{})
+	s := begin(t, xdsserver.Options{})
 	if err := s.Set("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 	if w[0].Running != "e/6" || w[0].Node != "i-1" || w[0].Nonce != "" {
 		t.Errorf("first %+v", w[0])
 	}
-	for i, want := range []steward.Word{{State: "trial", Running: "e/7"}, {State: "good", Running: "e/7"}, {State: "refused", Running: "e/6", Refused: "it did harm"}} {
+	for i, want := range []xdsserver.Word{{State: "trial", Running: "e/7"}, {State: "good", Running: "e/7"}, {State: "refused", Running: "e/6", Refused: "it did harm"}} {
 		if g := w[i+1]; g.Version != "e/7" || g.State != want.State || g.Running != want.Running || g.Refused != want.Refused {
 			t.Errorf("answer %d: %+v, want %+v", i, g, want)
 		}
@@ -121,10 +121,10 @@
 
 // What makes no sense is refused with its reason, and the next version comes all the same.
 func TestWhatMakesNoSense(t *testing.T) {
-	s := begin(t, steward.Options{})
+	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
 	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
-	sound, err := steward.Response("1", []config.Resource{class("look", 1)}, nil)
+	sound, err := xdsserver.Response("1", []config.Resource{class("look", 1)}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -154,11 +154,11 @@
 			return false
 		})
 	}
-	release, err := steward.Response("9", []config.Resource{class("a", 1)}, map[string]any{"rollback": "yes"})
+	release, err := xdsserver.Response("9", []config.Resource{class("a", 1)}, map[string]any{"rollback": "yes"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	unknown, err := steward.Response("10", []config.Resource{{Kind: "clas", Name: "x", Fields: map[string]any{}}}, nil)
+	unknown, err := xdsserver.Response("10", []config.Resource{{Kind: "clas", Name: "x", Fields: map[string]any{}}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -186,7 +186,7 @@
 
 // A version over the bound is not read; the stream is asked for again, and what is sent then arrives.
 func TestTooLarge(t *testing.T) {
-	s := begin(t, steward.Options{})
+	s := begin(t, xdsserver.Options{})
 	var many []config.Resource
 	for i := range 20_000 {
 		many = append(many, class(fmt.Sprint("c", i), 1))
@@ -208,7 +208,7 @@
 // A service that vanishes, at whatever byte of what it sends, is asked again; what arrives is whole, and begins with what
 // runs by then.
 func TestVanishes(t *testing.T) {
-	s := begin(t, steward.Options{})
+	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
 	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
 	all := []config.Resource{class("look", 1), class("book", 2)}
@@ -236,7 +236,7 @@
 	addr := s.Addr
 	s.Close()
 	f.Nack(rollout.ID{Number: 8}, "late", nil)
-	again := begin(t, steward.Options{Addr: addr})
+	again := begin(t, xdsserver.Options{Addr: addr})
 	if err := again.Set("9", all, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -263,11 +263,11 @@
 
 // A service that never stops sending is read at a bounded pace, and costs no more memory than what is under way.
 func TestNeverStops(t *testing.T) {
-	s := begin(t, steward.Options{})
+	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
 	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
 	for n := range 1000 {
-		r, err := steward.Response(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
+		r, err := xdsserver.Response(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -351,7 +351,7 @@
 // Both sides must show a certificate that the other's authority has signed, and the service the name that is expected.
 func TestMutualTLS(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	s := begin(t, steward.Options{Credentials: ours.server(t)})
+	s := begin(t, xdsserver.Options{Credentials: ours.server(t)})
 	if err := s.Set("1", []config.Resource{class("look", 1)}, nil); err != nil {
 		t.Fatal(err)
 	}
