--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -16,11 +16,11 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/roster"
 )
 
 // programs are what the first and third, and what the second process of a hot restart run: this build's program, unless
@@ -100,7 +100,7 @@
 		defer e.Close()
 		listed = append(listed, board.Up(name, e.Addr))
 	}
-	r, err := roster.Start(listed...)
+	r, err := discoveryserver.Start(listed...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -15,10 +15,10 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/roster"
 )
 
 // TestMain runs the program itself where a test, or the program under test, has started this binary for that.
@@ -126,7 +126,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	r, err := roster.Start(board.Up("s-1", e.Addr))
+	r, err := discoveryserver.Start(board.Up("s-1", e.Addr))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -10,10 +10,10 @@
 	"testing"
 
 	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/roster"
 )
 
 // one is a daemon's process.
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	r, err := roster.Start(board.Up("s-1", e.Addr))
+	r, err := discoveryserver.Start(board.Up("s-1", e.Addr))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,10 +18,10 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/port"
-	"dunlinsail/internal/standin/roster"
 )
 
 // process is a program under test.
@@ -193,7 +193,7 @@
 		entries = append(entries, discovery.Instance{ID: fmt.Sprint("s-", i), Addr: a, Zone: "a", Kind: "m1", Cell: 1,
 			Lifecycle: "up", Weight: 1})
 	}
-	r, err := roster.Start(entries...)
+	r, err := discoveryserver.Start(entries...)
 	if err != nil {
 		s.close()
 		return nil, err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/roster"
 )
 
 // Clients on TCP and on a unix socket are served by one instance, each counted as who it is.
@@ -208,7 +208,7 @@
 // changes nothing.
 func TestReload(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{})
-	one, err := roster.Start(w.entry(1))
+	one, err := discoveryserver.Start(w.entry(1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -28,12 +28,12 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
-	"dunlinsail/internal/standin/roster"
 )
 
 func TestMain(m *testing.M) {
@@ -46,7 +46,7 @@
 
 // world is a roster and endpoints for a daemon under test.
 type world struct {
-	roster    *roster.Server
+	roster    *discoveryserver.Server
 	ledger    *endpoint.Ledger
 	endpoints []*endpoint.Server
 	steward   *xdsserver.Service // nil without one
@@ -70,7 +70,7 @@
 		entries = append(entries, w.entry(i))
 	}
 	var err error
-	if w.roster, err = roster.Start(entries...); err != nil {
+	if w.roster, err = discoveryserver.Start(entries...); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(w.roster.Close)
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -29,6 +29,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/scenario"
@@ -36,7 +37,6 @@
 	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/standin/port"
-	"dunlinsail/internal/standin/roster"
 )
 
 // Micros is an instant or a duration in microseconds; a run begins at 0.
@@ -105,7 +105,7 @@
 
 	thawed atomic.Int64 // microseconds of the run until which it was stopped last; in the future while it is
 
-	roster *roster.Server
+	roster *discoveryserver.Server
 	addrs  []string // of its listeners, one for each client process
 	asks   []*http.Client
 	config string
@@ -370,7 +370,7 @@
 func (r *run) newInstance(n int) (*instance, error) {
 	in := &instance{n: n}
 	var err error
-	if in.roster, err = roster.Start(r.entries(n)...); err != nil {
+	if in.roster, err = discoveryserver.Start(r.entries(n)...); err != nil {
 		return nil, err
 	}
 	listeners := r.plan.Clients.Processes
--- a/internal/standin/roster/roster.go
+++ b/internal/fake/discoveryserver/roster.go
@@ -1,6 +1,6 @@
-// Package roster is a stand-in for discovery as PROTOCOL describes it: HTTP/1.1, the whole list at /api/targets and a
+// Package discoveryserver is a stand-in for discovery as PROTOCOL describes it: HTTP/1.1, the whole list at /api/targets and a
 // watch of its changes beside it. It tells what it is told, at once, and can be made silent.
-package roster
+package discoveryserver
 
 import (
 	"encoding/json"
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -22,9 +22,9 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/roster"
 )
 
 // Options say what to show.
@@ -78,7 +78,7 @@
 	began  time.Time
 	broken chan error
 
-	roster    *roster.Server
+	roster    *discoveryserver.Server
 	ledger    *endpoint.Ledger
 	endpoints []*node
 	files     []*node // the pool that is listed in the file
@@ -139,7 +139,7 @@
 		p.files = append(p.files, n)
 	}
 	var err error
-	if p.roster, err = roster.Start(entries...); err != nil {
+	if p.roster, err = discoveryserver.Start(entries...); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
