--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -17,7 +17,7 @@
 
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
@@ -98,7 +98,7 @@
 			t.Fatal(err)
 		}
 		defer e.Close()
-		listed = append(listed, board.Up(name, e.Addr))
+		listed = append(listed, scripteddiscovery.Up(name, e.Addr))
 	}
 	r, err := discoveryserver.Start(listed...)
 	if err != nil {
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"dunlinsail/internal/fake/discoveryserver"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
 )
@@ -126,7 +126,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	r, err := discoveryserver.Start(board.Up("s-1", e.Addr))
+	r, err := discoveryserver.Start(scripteddiscovery.Up("s-1", e.Addr))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -197,7 +197,7 @@
 		}
 	}
 	serves("at first")
-	silent := board.New(t)
+	silent := scripteddiscovery.New(t)
 	for what, spoil := range map[string]func(){
 		"a file that cannot be read":  func() { os.Remove(path) },
 		"a file that makes no sense":  func() { os.WriteFile(path, []byte("[listener"), 0o600) },
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -11,7 +11,7 @@
 
 	"dunlinsail/internal/daemon"
 	"dunlinsail/internal/fake/discoveryserver"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
 )
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	r, err := discoveryserver.Start(board.Up("s-1", e.Addr))
+	r, err := discoveryserver.Start(scripteddiscovery.Up("s-1", e.Addr))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dunlinsail/internal/decide/rollout"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
@@ -102,7 +102,7 @@
 	addr := freeAddr(t)
 	d := start(t, w.config(t, "127.0.0.1:0", addr))
 	k := dial(t, "tcp", addr)
-	silent := board.New(t)
+	silent := scripteddiscovery.New(t)
 	for want, edits := range map[string][]string{
 		"address already in use":     {"[[client]]\nname = \"desk\"", "[[listener]]\nname = \"more\"\naddress = \"" + w.roster.Addr + "\"\nclient = \"desk\"\n[[client]]\nname = \"desk\""},
 		"in time":                    {w.roster.Addr, silent.Addr, "worth = 5.0", "worth = 4.0", `ready_within = "5s"`, `ready_within = "50ms"`},
@@ -131,7 +131,7 @@
 		t.Fatal(err)
 	}
 	peer.Within(t, taken, "attempt")
-	silent := board.New(t)
+	silent := scripteddiscovery.New(t)
 	d.reload <- nil
 	d.next <- w.config(t, "127.0.0.1:0", addr, w.roster.Addr, silent.Addr, "worth = 5.0", "worth = 4.0")
 	peer.Within(t, silent.After, "the new generation")
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -29,8 +29,8 @@
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/xdsserver"
-	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
@@ -78,7 +78,7 @@
 }
 
 func (w *world) entry(i int) discovery.Instance {
-	return board.Up(fmt.Sprint("s-", i), w.endpoints[i].Addr)
+	return scripteddiscovery.Up(fmt.Sprint("s-", i), w.endpoints[i].Addr)
 }
 
 // file returns a daemon's file: a TCP listener for the client desk, a unix socket where each process is a client,
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	decide "dunlinsail/internal/decide/takeover"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/peer"
@@ -577,7 +577,7 @@
 	d = start(t, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	unready := *c
-	mute := board.New(t) // a discovery that tells nothing: it does not become ready
+	mute := scripteddiscovery.New(t) // a discovery that tells nothing: it does not become ready
 	unready.Discovery.Address = mute.Addr
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, Options{Config: &unready, Log: testLog(), Seed: 3}) }()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -16,12 +16,12 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 )
 
 // watching starts a watcher and returns what it tells.
-func watching(t *testing.T, b *board.Board, mute time.Duration) <-chan engine.Told {
+func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.Told {
 	told := make(chan engine.Told, 16)
 	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.Told) { told <- l }, peer.Quiet)
 	w.Mute, w.Answer = mute, peer.Soon // a busy machine is no silence
@@ -34,7 +34,7 @@
 // A watch that ends, is malformed or is mute is asked for again, from the latest list on. What is stale is
 // passed over.
 func TestWatch(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	told := watching(t, b, peer.Soon)
 	expect := func(want string) {
 		t.Helper()
@@ -49,25 +49,25 @@
 		}
 	}
 	expect("1 7")
-	b.Lines <- board.Line(8, true, board.Up("s-1", "127.0.0.1:1"))
+	b.Lines <- scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	hear(8)
 	b.Lines <- " "
-	b.Lines <- board.Line(5, true) // stale
-	b.Lines <- board.Line(9, false)
+	b.Lines <- scripteddiscovery.Line(5, true) // stale
+	b.Lines <- scripteddiscovery.Line(9, false)
 	hear(9)
 	b.Lines <- ""
 	expect("1 9")
-	b.Lines <- board.Line(10, false)
+	b.Lines <- scripteddiscovery.Line(10, false)
 	hear(10)
 	b.Lines <- `{"generation":11,"instances":[{]}`
 	expect("1 10")
-	b.Lines <- board.Line(11, false)
+	b.Lines <- scripteddiscovery.Line(11, false)
 	hear(11)
 }
 
 // A machine that is cut off leaves the watch open and silent.
 func TestMuteWatch(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	watching(t, b, 50*time.Millisecond)
 	peer.Within(t, b.After, "first watch")
 	if got := peer.Within(t, b.After, "watch after a mute one"); got != "1 7" {
@@ -77,10 +77,10 @@
 
 // A list may come indented, over many lines and in any pieces, also behind blank lines. What does not end is cut off.
 func TestIndentedLists(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	told := watching(t, b, peer.Soon)
 	peer.Within(t, b.After, "watch")
-	whole := board.Line(8, true, board.Up("s-1", "127.0.0.1:1"))
+	whole := scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, []byte(whole), "", "  "); err != nil {
 		t.Fatal(err)
@@ -93,7 +93,7 @@
 	if got.Generation != 8 || len(got.Members) != 1 || got.Members[0].Name != "s-1" {
 		t.Errorf("told %+v", got)
 	}
-	b.Lines <- board.Line(9, false) + board.Line(10, false)
+	b.Lines <- scripteddiscovery.Line(9, false) + scripteddiscovery.Line(10, false)
 	for want := int64(9); want <= 10; want++ {
 		if got := peer.Within(t, told, "list of two on a line"); got.Generation != want {
 			t.Errorf("told of %d, want %d", got.Generation, want)
@@ -128,7 +128,7 @@
 // said something, the next one is open and says nothing after its head, or is never answered, and only the third tells. The
 // bound includes the grace that a drain has.
 func TestSilentWatchesInARow(t *testing.T) {
-	list := board.Line(9, true, board.Up("s-1", "127.0.0.1:1"))
+	list := scripteddiscovery.Line(9, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	silences := map[string]func(c *net.TCPConn, r *bufio.Reader){
 		"after its head": func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead) },
 		"in a list": func(c *net.TCPConn, r *bufio.Reader) {
@@ -151,7 +151,7 @@
 				silent := make(chan time.Time, 1)
 				open := func(c *net.TCPConn, r *bufio.Reader) {
 					peer.Take(r)
-					io.WriteString(c, watchHead+chunk(board.Line(8, true)))
+					io.WriteString(c, watchHead+chunk(scripteddiscovery.Line(8, true)))
 					silent <- time.Now()
 				}
 				good := func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead+chunk(list)) }
@@ -179,7 +179,7 @@
 // A discovery that begins anew with lower generations is believed once its whole list says so too. What comes late on an open
 // watch is passed over as before, and an endpoint known to drain is not brought back by it.
 func TestGenerationsBeginAnew(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	told := watching(t, b, peer.Soon)
 	expect := func(want string) {
 		t.Helper()
@@ -188,20 +188,20 @@
 		}
 	}
 	expect("1 7")
-	b.Lines <- board.Line(41, true)
+	b.Lines <- scripteddiscovery.Line(41, true)
 	peer.Within(t, told, "list before")
-	b.Lines <- board.Line(3, true) // late, on the watch that has told more
+	b.Lines <- scripteddiscovery.Line(3, true) // late, on the watch that has told more
 	b.Lines <- ""
 	expect("1 41")
-	b.Lines <- board.Line(3, true, board.Up("s-1", "127.0.0.1:1"))
+	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	expect(" ") // the whole list
-	b.Lines <- board.Line(3, true, board.Up("s-1", "127.0.0.1:1"))
+	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	got := peer.Within(t, told, "list of the new history")
 	if got.Generation != 3 || !got.Anew || !got.Back || got.Kind != balancer.ListFull {
 		t.Errorf("told %+v", got)
 	}
 	expect("1 3")
-	b.Lines <- board.Line(4, false)
+	b.Lines <- scripteddiscovery.Line(4, false)
 	if got := peer.Within(t, told, "what follows"); got.Generation != 4 || got.Anew {
 		t.Errorf("told %+v", got)
 	}
@@ -209,14 +209,14 @@
 
 // An answer that was late by itself does not begin anything: the whole list shows it.
 func TestLateFirstAnswer(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	told := watching(t, b, peer.Soon)
 	peer.Within(t, b.After, "watch")
-	b.Lines <- board.Line(5, true) // asked for what is newer than 7
+	b.Lines <- scripteddiscovery.Line(5, true) // asked for what is newer than 7
 	if got := peer.Within(t, b.After, "call"); got != " " {
 		t.Errorf("asked with %q, want the whole list", got)
 	}
-	b.Lines <- board.Line(8, true)
+	b.Lines <- scripteddiscovery.Line(8, true)
 	if got := peer.Within(t, told, "list"); got.Generation != 8 || got.Anew {
 		t.Errorf("told %+v", got)
 	}
--- a/internal/standin/board/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -1,5 +1,5 @@
-// Package board is a stand-in for discovery whose every line a test writes by hand.
-package board
+// Package scripteddiscovery is a stand-in for discovery whose every line a test writes by hand.
+package scripteddiscovery
 
 import (
 	"context"
--- a/internal/sidecar/capped_test.go
+++ b/internal/sidecar/capped_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -72,7 +72,7 @@
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "other")
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", inner.Addr().String()), board.Up("s-2", other)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", inner.Addr().String()), scripteddiscovery.Up("s-2", other)}))
 
 	// One request takes the one connection, and waits there; no other can be had meanwhile.
 	taken := make(chan int, 1)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 	"io"
 	"net/http"
@@ -17,12 +17,12 @@
 	endpoint := func(name string) string {
 		return peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 	}
-	one, two, three := board.Up("s-1", endpoint("one")), board.Up("s-2", endpoint("two")), board.Up("s-1", endpoint("three"))
+	one, two, three := scripteddiscovery.Up("s-1", endpoint("one")), scripteddiscovery.Up("s-2", endpoint("two")), scripteddiscovery.Up("s-1", endpoint("three"))
 	state := func(in discovery.Instance, lifecycle string) discovery.Instance {
 		in.Lifecycle = lifecycle
 		return in
 	}
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	s := start(t, configure(t, b.Addr, []discovery.Instance{one}))
 	peer.Within(t, b.After, "watch")
 	for i, step := range []struct {
@@ -40,7 +40,7 @@
 		{false, []discovery.Instance{state(discovery.Instance{ID: "s-2"}, "removed")}, ""},
 	} {
 		generation := int64(8 + i)
-		b.Lines <- board.Line(generation, step.reset, step.instances...)
+		b.Lines <- scripteddiscovery.Line(generation, step.reset, step.instances...)
 		// The list has arrived once requests go where they should.
 		var got string
 		for end := time.Now().Add(peer.Soon); ; {
@@ -68,7 +68,7 @@
 // The sidecar serves from the list that it was started with while discovery is down.
 func TestKnownListServes(t *testing.T) {
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("with a known list and no discovery: %s", resp.Status)
 	}
@@ -76,14 +76,14 @@
 
 // Where discovery is asked, the balancer asks for each watch and hears of one that fails.
 func TestAskedDiscovery(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	s := start(t, configure(t, b.Addr, []discovery.Instance{board.Up("s-1", peer.Nowhere(t))},
+	s := start(t, configure(t, b.Addr, []discovery.Instance{scripteddiscovery.Up("s-1", peer.Nowhere(t))},
 		`"discovery":"automatic"`, `"discovery":"subscribe"`))
 	peer.Within(t, b.After, "first watch")
 	b.Lines <- "" // it ends
 	peer.Within(t, b.After, "watch after one that ended")
-	b.Lines <- board.Line(8, true, board.Up("s-2", addr))
+	b.Lines <- scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-2", addr))
 	for end := time.Now().Add(peer.Soon); ; {
 		if resp, _ := s.ask(t, look(900)); resp.StatusCode == 200 {
 			return
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -144,7 +144,7 @@
 					t.Parallel()
 					var got atomic.Int64
 					h := holdDials()
-					cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
+					cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
 					s := startDialing(t, cfg, h.dial)
 					nc, err := net.Dial("tcp", s.addr)
 					if err != nil {
@@ -194,7 +194,7 @@
 	defer close(release)
 	var list []discovery.Instance // several: one that is being probed anyway is not waited for
 	for i := range 8 {
-		list = append(list, board.Up(fmt.Sprint("s-", i), addr))
+		list = append(list, scripteddiscovery.Up(fmt.Sprint("s-", i), addr))
 	}
 	for round := 0; ; round++ {
 		// A new one each time: who was asked more lately does not wait for probes.
@@ -234,7 +234,7 @@
 func TestLeavesBehindAStreamedBody(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -260,7 +260,7 @@
 func TestLeaveInABurst(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	const many, out = 40, 4 // the others are turned away, or have not been looked at yet
 	var conns []net.Conn
 	for range many {
@@ -299,7 +299,7 @@
 func TestLeftBeforeItIsRead(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -55,7 +55,7 @@
 		}
 		io.WriteString(rw, id)
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	one := func(rng *rand.Rand) {
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/platform"
-	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/peer"
 	"io"
 	"net/http"
@@ -20,19 +20,19 @@
 			endpoint := func(name string) string {
 				return peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 			}
-			one, two, three := board.Up("s-1", endpoint("one")), board.Up("s-2", endpoint("two")), board.Up("s-3", endpoint("three"))
+			one, two, three := scripteddiscovery.Up("s-1", endpoint("one")), scripteddiscovery.Up("s-2", endpoint("two")), scripteddiscovery.Up("s-3", endpoint("three"))
 			for _, in := range []*discovery.Instance{&one, &two, &three} {
 				in.StartedMs = 1 // long ago: a cold endpoint may be spared
 			}
 			configured := func(addr string) *platform.Config {
 				return configure(t, addr, []discovery.Instance{one}, `"discovery":"automatic"`, `"discovery":"`+mode+`"`)
 			}
-			old, next := board.New(t), board.New(t)
+			old, next := scripteddiscovery.New(t), scripteddiscovery.New(t)
 			// As with ROUTER_DISCOVERY: the start goes by it, a file that changes goes before it.
 			c := configured(peer.Nowhere(t))
 			c.Discovery = old.Addr
 			s := start(t, c)
-			expect := func(b *board.Board, want string) {
+			expect := func(b *scripteddiscovery.Board, want string) {
 				t.Helper()
 				if got := peer.Within(t, b.After, "call of discovery"); got != want {
 					t.Errorf("asked with %q, want %q", got, want)
@@ -46,16 +46,16 @@
 				s.reload <- syscall.SIGHUP
 				s.config <- c
 			}
-			old.Lines <- board.Line(9, true, one, two)
+			old.Lines <- scripteddiscovery.Line(9, true, one, two)
 
 			s.reload <- syscall.SIGHUP
 			s.config <- configured(next.Addr)
 			expect(next, " ")
-			next.Lines <- board.Line(3, false, two)
+			next.Lines <- scripteddiscovery.Line(3, false, two)
 			next.Lines <- ""
 			expect(next, "1 3")
 			s.serves(t, "two")
-			next.Lines <- board.Line(4, true, three)
+			next.Lines <- scripteddiscovery.Line(4, true, three)
 			s.serves(t, "three")
 		})
 	}
@@ -77,9 +77,9 @@
 
 // Configurations may come while the sidecar stops.
 func TestReloadWhileStopping(t *testing.T) {
-	b := board.New(t)
+	b := scripteddiscovery.New(t)
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	c := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
+	c := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	s := start(t, c)
 	s.stop()
 	s.reload <- syscall.SIGHUP
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"context"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/siteconfig"
-	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/peer"
 	"fmt"
 	"io"
@@ -38,7 +38,7 @@
 		w.Header().Set("Endpoint-Load-Metrics", "TEXT busy_reqs=1")
 		io.WriteString(w, "\x00card "+string(b))
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, r := range []*http.Request{
 		look(480),
 		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
@@ -81,7 +81,7 @@
 func TestBadRequests(t *testing.T) {
 	var sent atomic.Int32
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	without := func(r *http.Request, header string) *http.Request {
 		r.Header.Del(header)
 		return r
@@ -204,7 +204,7 @@
 			if tc.h != nil {
 				addr = peer.Web(t, tc.h)
 			}
-			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 			method := "POST"
 			if tc.class == "look" {
 				method = "GET"
@@ -248,9 +248,9 @@
 					}
 				})
 			}
-			other := board.Up("s-2", endpoint())
+			other := scripteddiscovery.Up("s-2", endpoint())
 			other.Cell = tc.cell
-			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint()), other}))
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), other}))
 			resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
 			if n := copies.Load(); n > tc.mostCopies {
 				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
@@ -282,14 +282,14 @@
 		r.Peek(1) // until it is withdrawn
 	})
 	stalls.Store(true)
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", bad)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad)}))
 	asked := time.Now()
 	resp, _ := s.ask(t, request("POST", "/pay", "pay", 400, "x"))
 	if took := time.Since(asked); resp.StatusCode != 504 || took > 450*time.Millisecond || heads.Load() != 1 {
 		t.Errorf("alone: %s after %v, with %d attempts", resp.Status, took, heads.Load())
 	}
 	good := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
-	s = start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", bad), board.Up("s-2", good)}))
+	s = start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad), scripteddiscovery.Up("s-2", good)}))
 	stalls.Store(false)
 	for range 20 { // it learns how long answers take; until then any silence is waited for
 		s.ask(t, look(900))
@@ -312,7 +312,7 @@
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, tc := range []struct {
 		class string
 		want  int
@@ -341,7 +341,7 @@
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
+	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -364,7 +364,7 @@
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
 	first := make(chan int)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -398,7 +398,7 @@
 			<-release
 		}
 	})
-	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
+	cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	cfg.Sockets = platform.LeastSockets
 	s := start(t, cfg)
 	dial := func() net.Conn {
@@ -445,7 +445,7 @@
 func TestFastEndpoints(t *testing.T) {
 	var known []discovery.Instance
 	for i := range 4 {
-		known = append(known, board.Up(fmt.Sprint("s-", i), peer.Web(t, func(http.ResponseWriter, *http.Request) {})))
+		known = append(known, scripteddiscovery.Up(fmt.Sprint("s-", i), peer.Web(t, func(http.ResponseWriter, *http.Request) {})))
 	}
 	s := start(t, configure(t, peer.Nowhere(t), known))
 	c, err := net.Dial("tcp", s.addr)
@@ -474,7 +474,7 @@
 	t.Cleanup(free)               // or the endpoint could not be closed
 	var many []discovery.Instance // or one would seem overrun
 	for i := range 64 {
-		many = append(many, board.Up(fmt.Sprint("s-", i), addr))
+		many = append(many, scripteddiscovery.Up(fmt.Sprint("s-", i), addr))
 	}
 	cfg := configure(t, peer.Nowhere(t), many)
 	cfg.Sockets = 2 * platform.LeastSockets
@@ -533,7 +533,7 @@
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, text := range []string{
 		"",
 		"GET /look/1 HT",
@@ -564,7 +564,7 @@
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -621,7 +621,7 @@
 				served.Add(1)
 			})
 			whole := peer.Web(t, func(http.ResponseWriter, *http.Request) {})
-			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", half), board.Up("s-2", whole)},
+			s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", half), scripteddiscovery.Up("s-2", whole)},
 				`"tenants":[`, `"tenants":[{"name":"zeta","allowance-per-s":100.0,"share":1.0},`))
 			const rounds = 40
 			for range rounds {
@@ -662,7 +662,7 @@
 			}
 		})
 	}
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint(true)), board.Up("s-2", endpoint(false))}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint(true)), scripteddiscovery.Up("s-2", endpoint(false))}))
 	for range 40 { // the sidecar learns how long requests take, over some connections at once
 		var several sync.WaitGroup
 		for range 8 {
@@ -691,7 +691,7 @@
 			<-release
 		}
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	idle, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -735,7 +735,7 @@
 func TestDialOutlastsDrain(t *testing.T) {
 	var sent atomic.Int32
 	addr := peer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	drained := board.Up("s-1", addr)
+	drained := scripteddiscovery.Up("s-1", addr)
 	drained.Lifecycle = "draining"
 	for _, tc := range []struct {
 		name string
@@ -749,7 +749,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sent.Store(0)
-			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)})
+			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 			dialing, release := make(chan struct{}), make(chan struct{})
 			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
 				close(dialing)
@@ -805,7 +805,7 @@
 				})
 			}
 			var dials atomic.Int32
-			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", endpoint()), board.Up("s-2", endpoint())})
+			cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), scripteddiscovery.Up("s-2", endpoint())})
 			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 				if dials.Add(1) == 2 && late && err == nil {
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/platform"
-	"dunlinsail/internal/standin/board"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -22,7 +22,7 @@
 	t.Helper()
 	var list []discovery.Instance
 	for i, a := range addr {
-		list = append(list, board.Up(fmt.Sprint("s-", i), a))
+		list = append(list, scripteddiscovery.Up(fmt.Sprint("s-", i), a))
 	}
 	return configure(t, peer.Nowhere(t), list)
 }
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/board"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -110,7 +110,7 @@
 func TestStopServesTheQueue(t *testing.T) {
 	addr := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	ln := &gated{TCPListener: loopback(t)}
-	s := serveOn(t, ln, board.Up("s-1", addr))
+	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
 	s.ask(t, look(900)) // it learns how fast the endpoint is
 	ln.hold()
 	if c, err := net.Dial("tcp", s.addr); err == nil { // takes the place of the one that was waited for
@@ -150,7 +150,7 @@
 		<-release
 		io.WriteString(w, "ok")
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -194,7 +194,7 @@
 func TestStopEndsInTime(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{board.Up("s-1", addr)}))
+	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -264,7 +264,7 @@
 		io.WriteString(w, "ok")
 	})
 	ln := &accepting{TCPListener: loopback(t), accepted: make(chan *net.TCPConn, 1000)}
-	s := serveOn(t, ln, board.Up("s-1", addr))
+	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
 	s.ask(t, look(900)) // it learns how fast the endpoint is
 	for len(ln.accepted) > 0 {
 		<-ln.accepted
