Rename package standin/app to fake/webapp

Need: the package's name was a word of the earlier house style. Change: directory, import paths, qualifiers, and the paths in notes and comments, by a type-aware rename; nothing else.

--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"dunlinsail/internal/differential"
-	"dunlinsail/internal/standin/app"
+	"dunlinsail/internal/fake/webapp"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/standin/port"
@@ -41,7 +41,7 @@
 
 // appSite is a site of one stand-in application.
 func appSite() (*site, error) {
-	a, err := app.Start(nil)
+	a, err := webapp.Start(nil)
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +182,7 @@
 				return err
 			}
 			for _, dir := range []string{"answer", "request"} {
-				x := differential.Exchange{Method: "GET", Path: "/", Body: -1, Header: http.Header{}, Plan: app.Plan{Body: mib << 20}}
+				x := differential.Exchange{Method: "GET", Path: "/", Body: -1, Header: http.Header{}, Plan: webapp.Plan{Body: mib << 20}}
 				if dir == "request" {
 					x = differential.Exchange{Method: "POST", Path: "/", Body: mib << 20, Header: http.Header{}}
 				}
@@ -226,7 +226,7 @@
 	if err != nil {
 		return 0, err
 	}
-	q.Header.Set(app.PlanHeader, x.Plan.Text())
+	q.Header.Set(webapp.PlanHeader, x.Plan.Text())
 	if x.Body > 0 {
 		q.Body, q.ContentLength = io.NopCloser(&zeros{int64(x.Body)}), int64(x.Body)
 	}
@@ -272,7 +272,7 @@
 			return err
 		}
 		all = append(all, c)
-		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", app.PlanHeader, app.Plan{Body: 1 << 30}.Text())
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", webapp.PlanHeader, webapp.Plan{Body: 1 << 30}.Text())
 		var b [1]byte
 		if _, err := c.Read(b[:]); err != nil {
 			return err
--- a/internal/daemon/history_test.go
+++ b/internal/daemon/history_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/standin/app"
+	"dunlinsail/internal/fake/webapp"
 )
 
 // history is what clients got and what applications ran.
@@ -125,7 +125,7 @@
 		return rng.IntN(n) == 0
 	}
 	known := map[string]bool{}
-	var pools [2][]*app.App
+	var pools [2][]*webapp.App
 	for i := range 5 {
 		a := newApp(t, func(id string, whole bool) {
 			h.mu.Lock()
@@ -158,7 +158,7 @@
 			for i := range 60 {
 				id := fmt.Sprintf("c%d-%d", c, i)
 				e := end{kind: []string{"safe", "keyed", "unsafe"}[rng.IntN(3)], planned: []int{200, 200, 404, 409, 422, 301}[rng.IntN(6)]}
-				path, size, plan := e.kind, rng.IntN(2000), app.Plan{Status: e.planned, Body: rng.IntN(3000)}
+				path, size, plan := e.kind, rng.IntN(2000), webapp.Plan{Status: e.planned, Body: rng.IntN(3000)}
 				switch rng.IntN(5) {
 				case 0:
 					size = 150_000 + rng.IntN(200_000)
@@ -181,7 +181,7 @@
 					q.ContentLength = int64(size)
 				}
 				q.Header.Set("X-Id", id)
-				q.Header.Set(app.PlanHeader, plan.Text())
+				q.Header.Set(webapp.PlanHeader, plan.Text())
 				if e.kind == "keyed" {
 					q.Header.Set("Idempotency-Key", "k"+id)
 				}
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -19,14 +19,14 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/differential"
-	"dunlinsail/internal/standin/app"
+	"dunlinsail/internal/fake/webapp"
 	"dunlinsail/internal/standin/peer"
 )
 
 // newApp starts a stand-in application.
-func newApp(t *testing.T, runs func(id string, whole bool)) *app.App {
+func newApp(t *testing.T, runs func(id string, whole bool)) *webapp.App {
 	t.Helper()
-	a, err := app.Start(runs)
+	a, err := webapp.Start(runs)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 pool = "app"
 `
 
-func addrs(all ...*app.App) string {
+func addrs(all ...*webapp.App) string {
 	var quoted []string
 	for _, a := range all {
 		quoted = append(quoted, fmt.Sprintf("%q", a.Addr))
@@ -110,11 +110,11 @@
 answer = { remove = ["Server"], set = { "Cache-Control" = "no-store" } }
 `, "ADDRS", addrs(a))
 	k := dial(t, "tcp", addr)
-	plan := app.Plan{Header: map[string][]string{"Server": {"x"}, "Cache-Control": {"public"}, "X-Kept": {"1", "2"}}}
+	plan := webapp.Plan{Header: map[string][]string{"Server": {"x"}, "Cache-Control": {"public"}, "X-Kept": {"1", "2"}}}
 	resp, _ := k.ask(t, "GET /cards/../cards/7?q=1 HTTP/1.1\r\nHost: outside\r\nCookie: c\r\nX-Via: client\r\nX-Hop: 1\r\nTraceparent: 00-1-2-01\r\n"+
-		"X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Expires-In-Ms: 5000\r\nConnection: x-own\r\nX-Own: 1\r\n"+app.PlanHeader+": "+plan.Text()+"\r\n\r\n")
-	var got app.Got
-	if err := json.Unmarshal([]byte(resp.Header.Get(app.GotHeader)), &got); err != nil {
+		"X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Expires-In-Ms: 5000\r\nConnection: x-own\r\nX-Own: 1\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
+	var got webapp.Got
+	if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
 		t.Fatal(resp.Status, err)
 	}
 	h := got.Header
@@ -143,11 +143,11 @@
 	} {
 		_, addr := routed(t, eight+tc.edits, "ADDRS", addrs(a))
 		resp, _ := dial(t, "tcp", addr).ask(t, "GET / HTTP/1.1\r\nHost: h:1\r\nX-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\n\r\n")
-		var got app.Got
-		if err := json.Unmarshal([]byte(resp.Header.Get(app.GotHeader)), &got); err != nil {
+		var got webapp.Got
+		if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
 			t.Fatal(err)
 		}
-		if text := app.HeaderText(got.Header); text != tc.want {
+		if text := webapp.HeaderText(got.Header); text != tc.want {
 			t.Errorf("%q: %s, want %s", tc.edits, text, tc.want)
 		}
 	}
@@ -168,8 +168,8 @@
 	} {
 		a, b := newApp(t, nil), newApp(t, nil)
 		_, addr := routed(t, eight, "ADDRS", addrs(a, b))
-		plan := app.Plan{Status: tc.status, Header: tc.header, Body: 5}
-		resp, body := dial(t, "tcp", addr).ask(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+app.PlanHeader+": "+plan.Text()+"\r\n\r\n")
+		plan := webapp.Plan{Status: tc.status, Header: tc.header, Body: 5}
+		resp, body := dial(t, "tcp", addr).ask(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
 		if n := a.Asked() + b.Asked(); resp.StatusCode != tc.status || resp.Header.Get("Proxy-Status") != "" || len(body) != 5 ||
 			resp.Header.Get("Retry-After") != tc.header.Get("Retry-After") || n != tc.tries {
 			t.Errorf("%s %d: %s %v %q after %d tries, want %d", tc.method, tc.status, resp.Status, resp.Header, body, n, tc.tries)
@@ -220,7 +220,7 @@
 	a, b := newApp(t, nil), newApp(t, nil)
 	dir := t.TempDir()
 	file := dir + "/pool.json"
-	list := func(apps ...*app.App) {
+	list := func(apps ...*webapp.App) {
 		var all []string
 		for i, a := range apps {
 			all = append(all, fmt.Sprintf(`{"instanceId":"f-%d","hostPort":%q,"lifecycle":"up","weight":1}`, i, a.Addr))
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/standin/app"
+	"dunlinsail/internal/fake/webapp"
 	"dunlinsail/internal/standin/peer"
 )
 
@@ -43,7 +43,7 @@
 	k := dial(t, "tcp", addr)
 	big := strings.Repeat("x", 100_000)
 	plan := func(body int, work time.Duration) string {
-		return app.PlanHeader + ": " + app.Plan{Body: body, Work: work}.Text() + "\r\n"
+		return webapp.PlanHeader + ": " + webapp.Plan{Body: body, Work: work}.Text() + "\r\n"
 	}
 	all := "GET /1 HTTP/1.1\r\nHost: h\r\n" + plan(1, 30*time.Millisecond) + "\r\n" +
 		"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n" + plan(2, 0) + "\r\nabc" +
@@ -376,10 +376,10 @@
 func TestOldClientsGetStreams(t *testing.T) {
 	a := newApp(t, nil)
 	d, addr := routed(t, eight, "ADDRS", addrs(a))
-	for _, plan := range []app.Plan{{Body: 300_000}, {Body: 300_000, Pieces: 3, Trailer: map[string]string{"X-Sum": "1"}}, {Body: 300_000, Closed: true},
+	for _, plan := range []webapp.Plan{{Body: 300_000}, {Body: 300_000, Pieces: 3, Trailer: map[string]string{"X-Sum": "1"}}, {Body: 300_000, Closed: true},
 		{Body: 10, Pieces: 2, Gap: 50 * time.Millisecond}} {
 		k := dial(t, "tcp", addr)
-		resp, body := k.ask(t, "GET / HTTP/1.0\r\n"+app.PlanHeader+": "+plan.Text()+"\r\n\r\n")
+		resp, body := k.ask(t, "GET / HTTP/1.0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
 		if resp.StatusCode != 200 || len(body) != plan.Body || len(resp.TransferEncoding) > 0 || !resp.Close {
 			t.Errorf("%+v: %s, %d bytes, %v", plan, resp.Status, len(body), resp.TransferEncoding)
 		}
@@ -548,7 +548,7 @@
 	const requests = 100
 	arrivals := func(budget string) (n int64) {
 		good := newApp(t, nil)
-		var bad []*app.App
+		var bad []*webapp.App
 		for range 20 { // the breaker of each lets some through before it knows
 			bad = append(bad, newApp(t, nil))
 			bad[len(bad)-1].Fail(500)
--- a/internal/differential/differential.go
+++ b/internal/differential/differential.go
@@ -16,7 +16,7 @@
 	"strings"
 	"time"
 
-	"dunlinsail/internal/standin/app"
+	"dunlinsail/internal/fake/webapp"
 )
 
 // Exchange is one request and how it is to be answered.
@@ -27,7 +27,7 @@
 	Chunked      bool
 	Trailer      http.Header // of a body in chunks
 	Expect       bool        // 100-continue
-	Plan         app.Plan
+	Plan         webapp.Plan
 }
 
 // Outcome is what came of an exchange.
@@ -58,7 +58,7 @@
 	for name := range Unlike {
 		without = append(without, name)
 	}
-	return app.HeaderText(h, without...)
+	return webapp.HeaderText(h, without...)
 }
 
 // Difference is where two outcomes differ.
@@ -92,7 +92,7 @@
 		"ReverseProxy passes on the names of a request's trailers without their values",
 		func(x *Exchange, part string, a, b *Outcome) bool {
 			return part == "application" && a.App != "" && plainApp.ReplaceAllString(a.App, "") == plainApp.ReplaceAllString(b.App, "") &&
-				(x.Chunked || x.Expect) && strings.HasSuffix(a.App, app.HeaderText(x.Trailer))
+				(x.Chunked || x.Expect) && strings.HasSuffix(a.App, webapp.HeaderText(x.Trailer))
 		}},
 	{"ReverseProxy's server side closes a request's body as its answer begins, while its client side may still read there: " +
 		"the answer then breaks now and then, where the daemon's is as the application was asked for",
@@ -111,10 +111,10 @@
 
 // asPlanned says whether an answer came whole, with the status and the body that the application was asked for.
 func asPlanned(x *Exchange, o *Outcome) bool {
-	var d app.Digest
+	var d webapp.Digest
 	if x.Method != http.MethodHead && x.Plan.Status != http.StatusNoContent && x.Plan.Status != http.StatusNotModified {
 		for _, n := range x.Plan.Parts() {
-			if err := app.Bytes(&d, n); err != nil {
+			if err := webapp.Bytes(&d, n); err != nil {
 				return false
 			}
 		}
@@ -195,7 +195,7 @@
 	var body io.Reader
 	if x.Body >= 0 {
 		r, w := io.Pipe()
-		go func() { w.CloseWithError(app.Bytes(w, x.Body)) }()
+		go func() { w.CloseWithError(webapp.Bytes(w, x.Body)) }()
 		defer r.Close()
 		body = r
 	}
@@ -206,7 +206,7 @@
 	}
 	q.Header = x.Header.Clone()
 	q.Host = "app.example"
-	q.Header.Set(app.PlanHeader, x.Plan.Text())
+	q.Header.Set(webapp.PlanHeader, x.Plan.Text())
 	q.Header.Set("User-Agent", "differential")
 	if x.Expect {
 		q.Header.Set("Expect", "100-continue")
@@ -224,19 +224,19 @@
 		return o
 	}
 	defer resp.Body.Close()
-	var d app.Digest
+	var d webapp.Digest
 	if _, err := io.Copy(&d, resp.Body); err != nil {
 		o.Failed = "body"
 	}
-	o.Status, o.Body, o.Trailer = resp.StatusCode, d.String(), app.HeaderText(resp.Trailer)
-	if text := resp.Header.Get(app.GotHeader); text != "" {
-		var got app.Got
+	o.Status, o.Body, o.Trailer = resp.StatusCode, d.String(), webapp.HeaderText(resp.Trailer)
+	if text := resp.Header.Get(webapp.GotHeader); text != "" {
+		var got webapp.Got
 		if err := json.Unmarshal([]byte(text), &got); err != nil {
 			o.App = err.Error()
 		} else {
-			o.App = fmt.Sprint(got.Method, " ", got.URI, " ", got.Host, " ", headerText(got.Header), " ", got.Body, " ", app.HeaderText(got.Trailer))
+			o.App = fmt.Sprint(got.Method, " ", got.URI, " ", got.Host, " ", headerText(got.Header), " ", got.Body, " ", webapp.HeaderText(got.Trailer))
 		}
-		resp.Header.Del(app.GotHeader)
+		resp.Header.Del(webapp.GotHeader)
 	}
 	o.Header = headerText(resp.Header)
 	if resp.ContentLength >= 0 && x.Method == http.MethodHead {
--- a/internal/standin/app/app.go
+++ b/internal/fake/webapp/app.go
@@ -1,6 +1,6 @@
-// Package app is a stand-in for an ordinary web application: it answers as each request asks it to, and tells what it
+// Package webapp is a stand-in for an ordinary web application: it answers as each request asks it to, and tells what it
 // got. It speaks HTTP/1.1 by net/http, and knows nothing of what stands before it.
-package app
+package webapp
 
 import (
 	"crypto/sha256"
