--- a/cmd/dunlinsail/size_test.go
+++ b/cmd/dunlinsail/size_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // Fifty answers of 32 MB to readers who stop after the first part, in the smallest memory that the platform gives: none is held
@@ -26,7 +26,7 @@
 		memoryMB = 32
 	)
 	part := make([]byte, 64<<10)
-	large := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) {
+	large := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(size))
 		for range size / len(part) {
 			if _, err := w.Write(part); err != nil {
@@ -79,7 +79,7 @@
 			}
 		})
 		// One after the other: so many at once are more than the one endpoint can be expected to answer in time.
-		if err := peer.Within(t, begun, "the first part of an answer"); err != nil {
+		if err := scriptedpeer.Within(t, begun, "the first part of an answer"); err != nil {
 			t.Error(err)
 		}
 	}
--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -23,7 +23,7 @@
 
 	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/port"
 	"dunlinsail/internal/takeover"
 )
@@ -66,7 +66,7 @@
 	h := &host{t: t, ln: f, addr: ln.Addr().String(), dir: t.TempDir()}
 	var list []string
 	for i := range h.to {
-		addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 			if h.to[i].Add(1); r.URL.Path == "/pay/held" {
 				<-*h.hold.Load()
 			}
@@ -180,7 +180,7 @@
 // ends waits for a process that has been told to end, or has handed over.
 func (p *process) ends() {
 	p.h.t.Helper()
-	if err := peer.Within(p.h.t, p.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(p.h.t, p.ended, "end"); err != nil {
 		p.h.t.Errorf("ended with %v\n%s", err, p.log.String())
 	}
 }
@@ -232,7 +232,7 @@
 		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
 		answered <- code
 	}()
-	peer.Eventually(h.t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > before })
+	scriptedpeer.Eventually(h.t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > before })
 	return answered
 }
 
@@ -317,11 +317,11 @@
 			code, _ := ask(held, bufio.NewReader(held), head("POST", "/pay/held", "Content-Length: 0\r\n"))
 			answered <- code
 		}()
-		peer.Eventually(t, "requests at the endpoint", func() bool { return h.to[1].Load() > at+1 })
+		scriptedpeer.Eventually(t, "requests at the endpoint", func() bool { return h.to[1].Load() > at+1 })
 		next := h.start().ready()
 		old.cmd.Process.Signal(syscall.SIGTERM)
 		hold <- struct{}{}
-		if code := peer.Within(t, answered, "answer to the one that was held"); code != 200 {
+		if code := scriptedpeer.Within(t, answered, "answer to the one that was held"); code != 200 {
 			t.Errorf("held over the upgrade: %d", code)
 		}
 		if code, err := ask(half, bufio.NewReader(half), text[len(text)/2:]); code != 200 {
@@ -343,7 +343,7 @@
 		t.Errorf("figures:\n%s", figures)
 	}
 	old.byHand("enable", "s-0")
-	peer.Eventually(t, "requests to the one that is in again", func() bool { return h.to[0].Load() > before })
+	scriptedpeer.Eventually(t, "requests to the one that is in again", func() bool { return h.to[0].Load() > before })
 	n := stop()
 	if n < 20 {
 		t.Errorf("%d requests in all", n)
@@ -398,7 +398,7 @@
 			c := h.asTaker(steps)
 			old.cmd.Process.Signal(syscall.SIGHUP) // in the middle of it
 			c.Close()
-			peer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
+			scriptedpeer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
 			h.once("GET", "/look/1", "")
 			h.start().ready()
 			old.cmd.Process.Signal(syscall.SIGTERM)
@@ -437,7 +437,7 @@
 		if err := c.Write(m); err != nil {
 			h.t.Fatal(err)
 		}
-		got, err := c.ReadWithin(peer.Soon)
+		got, err := c.ReadWithin(scriptedpeer.Soon)
 		if err != nil {
 			h.t.Fatal(err)
 		}
@@ -474,7 +474,7 @@
 					taker.Close()
 				}
 				hold <- struct{}{} // the first has its answer
-				if code := peer.Within(t, answered, "answer to what was open"); code != 200 {
+				if code := scriptedpeer.Within(t, answered, "answer to what was open"); code != 200 {
 					t.Errorf("what was open was answered %d", code)
 				}
 				const killed = 3700 * time.Millisecond
@@ -507,7 +507,7 @@
 			}
 			defer c.Close()
 			for i, answer := range []decide.Event{decide.Offer, decide.Go, decide.Yours} {
-				m, err := c.ReadWithin(peer.Soon)
+				m, err := c.ReadWithin(scriptedpeer.Soon)
 				if err != nil {
 					t.Fatalf("step %d: %v", i, err)
 				}
@@ -532,7 +532,7 @@
 			if n, err := client.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("a client that waits for whoever serves: %d bytes, %v", n, err)
 			}
-			if m, err := c.ReadWithin(peer.Soon); err == nil {
+			if m, err := c.ReadWithin(scriptedpeer.Soon); err == nil {
 				m.CloseFiles()
 				t.Errorf("it said %v as it ended", m.Kind)
 			}
@@ -552,7 +552,7 @@
 	next.cmd.Process.Signal(syscall.SIGTERM)
 	next.ends()
 	close(hold)
-	if code := peer.Within(t, answered, "answer"); code != 200 {
+	if code := scriptedpeer.Within(t, answered, "answer"); code != 200 {
 		t.Errorf("open as both were to end: %d", code)
 	}
 	old.ends()
@@ -608,7 +608,7 @@
 			}
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.ends()
-			peer.Within(t, over, "hanging up")
+			scriptedpeer.Within(t, over, "hanging up")
 		})
 	}
 }
@@ -623,7 +623,7 @@
 	next := h.start().ready()
 	out := func(p *process, want int) {
 		t.Helper()
-		peer.Eventually(t, "the same in both", func() bool {
+		scriptedpeer.Eventually(t, "the same in both", func() bool {
 			_, text := p.call("GET", "/metrics", "")
 			return strings.Contains(text, fmt.Sprintf("out_of_rotation=%d\n", want))
 		})
@@ -635,7 +635,7 @@
 	next.byHand("disable", "s-1")
 	out(old, 1)
 	close(hold)
-	if code := peer.Within(t, answered, "answer"); code != 200 {
+	if code := scriptedpeer.Within(t, answered, "answer"); code != 200 {
 		t.Errorf("held over the upgrade: %d", code)
 	}
 	old.ends()
@@ -653,7 +653,7 @@
 	h.ln = r
 	p := h.start()
 	var exit *exec.ExitError
-	if err := peer.Within(t, p.ended, "end"); !errors.As(err, &exit) || !strings.Contains(p.log.String(), "no listening stream socket") {
+	if err := scriptedpeer.Within(t, p.ended, "end"); !errors.As(err, &exit) || !strings.Contains(p.log.String(), "no listening stream socket") {
 		t.Errorf("%v\n%s", err, p.log.String())
 	}
 }
--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -18,9 +18,9 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // programs are what the first and third, and what the second process of a hot restart run: this build's program, unless
@@ -57,7 +57,7 @@
 		io.Copy(io.Discard, out)
 		p.ended <- p.cmd.Wait()
 	}()
-	if err := peer.Within(t, announced, "a daemon that serves"); err != nil {
+	if err := scriptedpeer.Within(t, announced, "a daemon that serves"); err != nil {
 		t.Fatal(err)
 	}
 	return p
@@ -66,7 +66,7 @@
 // ends waits for a process that has handed over, or was told to end.
 func (p *served) ends(t *testing.T) {
 	t.Helper()
-	if err := peer.Within(t, p.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, p.ended, "end"); err != nil {
 		t.Errorf("ended with %v\n%s", err, p.log.String())
 	}
 }
@@ -130,7 +130,7 @@
 	// A daemon that knows nothing yet rejects what comes at once beyond its guesses.
 	warm := client.New(client.Options{Name: "warm", Network: "tcp", Addr: addr})
 	var warmed int
-	peer.Eventually(t, "requests that are served", func() bool {
+	scriptedpeer.Eventually(t, "requests that are served", func() bool {
 		if warm.Ask(classes[1], fmt.Sprint("warm-", warmed), "").Verdict == client.Served {
 			warmed++
 		}
@@ -149,7 +149,7 @@
 	go func() { reports <- load.Run(ctx) }()
 	for i := 1; i < 3; i++ {
 		reached := len(ledger.Runs()) + 100
-		peer.Eventually(t, "load", func() bool { return len(ledger.Runs()) > reached })
+		scriptedpeer.Eventually(t, "load", func() bool { return len(ledger.Runs()) > reached })
 		successor := serveBy(t, programs[i%len(programs)], path)
 		current.ends(t)
 		if i > 1 {
@@ -158,9 +158,9 @@
 		current = successor
 	}
 	reached := len(ledger.Runs()) + 100
-	peer.Eventually(t, "load after the last restart", func() bool { return len(ledger.Runs()) > reached })
+	scriptedpeer.Eventually(t, "load after the last restart", func() bool { return len(ledger.Runs()) > reached })
 	stop()
-	report := peer.Within(t, reports, "report")
+	report := scriptedpeer.Within(t, reports, "report")
 	if report.By[client.Served] != report.Asked || report.Asked < 300 {
 		t.Errorf("%d asked, %v", report.Asked, report.By)
 	}
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -17,8 +17,8 @@
 
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // TestMain runs the program itself where a test, or the program under test, has started this binary for that.
@@ -47,7 +47,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	late := time.AfterFunc(peer.Soon, func() { cmd.Process.Signal(syscall.SIGQUIT) })
+	late := time.AfterFunc(scriptedpeer.Soon, func() { cmd.Process.Signal(syscall.SIGQUIT) })
 	err := cmd.Wait()
 	if !late.Stop() {
 		t.Fatalf("%v did not end; it said %q", args, e.String())
@@ -106,7 +106,7 @@
 ready_within = "1s"
 [[listener]]
 name = "desk"
-address = "` + peer.Nowhere(t) + `"
+address = "` + scriptedpeer.Nowhere(t) + `"
 client = "desk"
 [[client]]
 name = "desk"
@@ -163,7 +163,7 @@
 			_, err := io.ReadFull(out, make([]byte, len("serving\n")))
 			said <- err
 		}()
-		if err := peer.Within(t, said, "a daemon that serves"); err != nil {
+		if err := scriptedpeer.Within(t, said, "a daemon that serves"); err != nil {
 			t.Fatal(err)
 		}
 		ended := make(chan error, 1)
@@ -179,7 +179,7 @@
 	kept := &http.Client{Transport: &http.Transport{Dial: func(string, string) (net.Conn, error) { return nc, nil }}}
 	serves := func(what string) {
 		t.Helper()
-		for end := time.Now().Add(peer.Soon); ; {
+		for end := time.Now().Add(scriptedpeer.Soon); ; {
 			req, _ := http.NewRequest("GET", "http://"+addr+"/look/1", nil)
 			req.Header.Set("X-Trace-Id", "t1")
 			resp, err := kept.Do(req)
@@ -214,19 +214,19 @@
 			t.Fatal(err)
 		}
 		// Before the next spoils the file: one that has moved to a discovery that is silent hands on what it knows of it.
-		peer.Within(t, read, "a file read again")
+		scriptedpeer.Within(t, read, "a file read again")
 		serves(what)
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	second, secondEnded := serve()
-	if err := peer.Within(t, ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Within(t, ended, "end of the first"); err != nil {
 		t.Errorf("the first ended with %v", err)
 	}
 	serves("after the takeover")
 	second.Process.Signal(syscall.SIGTERM)
-	if err := peer.Within(t, secondEnded, "end of the second"); err != nil {
+	if err := scriptedpeer.Within(t, secondEnded, "end of the second"); err != nil {
 		t.Errorf("the second ended with %v", err)
 	}
 }
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -12,8 +12,8 @@
 	"dunlinsail/internal/daemon"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // one is a daemon's process.
@@ -39,7 +39,7 @@
 	var join []string
 	names := []string{"a", "b", "c", "d"}
 	for _, name := range names {
-		all[name] = &one{peers: peer.Nowhere(t), ask: peer.Nowhere(t), at: peer.Nowhere(t)}
+		all[name] = &one{peers: scriptedpeer.Nowhere(t), ask: scriptedpeer.Nowhere(t), at: scriptedpeer.Nowhere(t)}
 		join = append(join, fmt.Sprintf("%q", all[name].peers))
 	}
 	for i, name := range names {
@@ -95,7 +95,7 @@
 	}
 	for i, name := range names {
 		lender := names[i/2*2]
-		peer.Eventually(t, name+" is lent nothing", func() bool {
+		scriptedpeer.Eventually(t, name+" is lent nothing", func() bool {
 			v := view(name)
 			return v.Fleet.Book == lender && v.Fleet.Loan > 0 && len(v.Fleet.Shares) == 1 && v.Fleet.Shares[0].Allowed > 2
 		})
@@ -145,8 +145,8 @@
 		}
 	}
 	all["b"].cmd.Process.Kill()
-	peer.Eventually(t, "nobody sees that b is gone", func() bool { return alive("a") == "a" })
-	if code, _, errs := ends(t, "members", "--at", peer.Nowhere(t)); code != 1 || errs == "" {
+	scriptedpeer.Eventually(t, "nobody sees that b is gone", func() bool { return alive("a") == "a" })
+	if code, _, errs := ends(t, "members", "--at", scriptedpeer.Nowhere(t)); code != 1 || errs == "" {
 		t.Errorf("nobody there: %d %q", code, errs)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -10,8 +10,8 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/siteconfig"
-	"dunlinsail/internal/standin/peer"
 )
 
 // upstreams is an Upstream whose targets only count what is asked of them.
@@ -40,7 +40,7 @@
 func running(t *testing.T, known ...engine.Member) (*Pool, upstreams) {
 	t.Helper()
 	u := upstreams{made: make(chan string, 16)}
-	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: peer.Quiet})
+	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: scriptedpeer.Quiet})
 	p := pool(t, x, "", known...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.Run(ctx)
@@ -63,7 +63,7 @@
 	t.Helper()
 	done := make(chan struct{})
 	x.post(func(balancer.Micros) { close(done) })
-	peer.Within(t, done, "event")
+	scriptedpeer.Within(t, done, "event")
 }
 
 // Without any endpoint a core is not ready; with one it is.
@@ -138,17 +138,17 @@
 	x.Submit(c)
 	again := &Call{Client: client, Pool: p, ID: "1", Answer: make(chan engine.Answer, 1), In: in}
 	x.Submit(again)
-	if a := peer.Within(t, again.Answer, "answer to an open id"); a.Verdict != engine.IDOpen {
+	if a := scriptedpeer.Within(t, again.Answer, "answer to an open id"); a.Verdict != engine.IDOpen {
 		t.Errorf("the same id once more: verdict %v", a.Verdict)
 	}
 	close(release)
-	if a := peer.Within(t, c.Answer, "answer"); a.Verdict != engine.Served || a.Reply.Answer != "yes" {
+	if a := scriptedpeer.Within(t, c.Answer, "answer"); a.Verdict != engine.Served || a.Reply.Answer != "yes" {
 		t.Errorf("answer %+v", a)
 	}
 	x.Leave(c) // too late to matter
 	left := make(chan [2]int, 1)
 	x.post(func(balancer.Micros) { left <- [2]int{x.engine.Calls(), client.Open()} })
-	if n := peer.Within(t, left, "counts"); n != [2]int{} {
+	if n := scriptedpeer.Within(t, left, "counts"); n != [2]int{} {
 		t.Errorf("left behind: %d calls, %d ids", n[0], n[1])
 	}
 	select {
@@ -194,7 +194,7 @@
 	second.Close()
 	late := second.call(t, client, "3", release)
 	x.Submit(late)
-	if got := peer.Within(t, late.Answer, "answer of a closed pool"); got.Verdict != engine.Refused {
+	if got := scriptedpeer.Within(t, late.Answer, "answer of a closed pool"); got.Verdict != engine.Refused {
 		t.Errorf("a closed pool took a request: %+v", got)
 	}
 	gone := make(chan bool, 1)
@@ -204,7 +204,7 @@
 	}
 	close(release)
 	for _, c := range []*Call{a, b} {
-		if got := peer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != c.Pool.pool.Name() {
+		if got := scriptedpeer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != c.Pool.pool.Name() {
 			t.Errorf("answer %+v", got)
 		}
 	}
@@ -237,20 +237,20 @@
 		return engine.Reply{Status: balancer.Reset, At: now}
 	}
 	x.Submit(c)
-	if got := peer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != "begun" {
+	if got := scriptedpeer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != "begun" {
 		t.Fatalf("answer %+v", got)
 	}
 	over := make(chan struct{})
 	defer time.AfterFunc(clock.Duration(c.In.Deadline+20_000-x.config.Clock.Now()), func() { close(over) }).Stop()
-	peer.Within(t, over, "the deadline")
+	scriptedpeer.Within(t, over, "the deadline")
 	if waiting, inFlight, _, calls := p.Counts(); waiting != 0 || inFlight != 0 || calls != 1 {
 		t.Errorf("while it streams: %d waiting, %d in flight, %d calls", waiting, inFlight, calls)
 	}
 	close(release)
-	if !peer.Within(t, ended, "the end of the attempt") {
+	if !scriptedpeer.Within(t, ended, "the end of the attempt") {
 		t.Error("the deadline ended an answer that had begun")
 	}
-	for end := time.Now().Add(peer.Soon); ; {
+	for end := time.Now().Add(scriptedpeer.Soon); ; {
 		if _, _, _, calls := p.Counts(); calls == 0 {
 			break
 		}
@@ -279,9 +279,9 @@
 		return engine.Reply{Status: balancer.Cancelled, At: now}
 	}
 	x.Submit(c)
-	peer.Within(t, c.Answer, "answer")
+	scriptedpeer.Within(t, c.Answer, "answer")
 	x.Leave(c)
-	peer.Within(t, ended, "the end of the attempt")
+	scriptedpeer.Within(t, ended, "the end of the attempt")
 }
 
 // What has gone out and cannot be shown again is not tried again, whatever the class allows. Whether it is refused or failed
@@ -303,7 +303,7 @@
 			return engine.Reply{Status: balancer.Error, At: x.config.Clock.Now(), Answer: "said"}
 		}
 		x.Submit(c)
-		got := peer.Within(t, c.Answer, "answer")
+		got := scriptedpeer.Within(t, c.Answer, "answer")
 		if got.Reply == nil || got.Reply.Answer != "said" || spent != (len(tries) == 1) || spent && got.Verdict != engine.Refused {
 			t.Errorf("spent %v: %+v after %d tries", spent, got, len(tries))
 		}
@@ -324,7 +324,7 @@
 	out, over := make(chan struct{}), make(chan struct{})
 	defer close(over)
 	c := p.call(t, client, "1", nil)
-	c.In.Deadline = x.config.Clock.Now() + 2*peer.Soon.Microseconds()
+	c.In.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
 	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
 		if try.Hold(func() { ended.Store(true) }) && try.MayGo(x.config.Clock.Now()) {
 			close(out)
@@ -333,7 +333,7 @@
 		return engine.Reply{Status: balancer.Reset, At: x.config.Clock.Now()}
 	}
 	x.Submit(c)
-	peer.Within(t, out, "the attempt")
+	scriptedpeer.Within(t, out, "the attempt")
 	x.Leave(c)
 	x.sync(t)
 	if !ended.Load() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // Clients on TCP and on a unix socket are served by one instance, each counted as who it is.
@@ -64,7 +64,7 @@
 			d := start(t, w.config(t, tc.old, tc.new))
 			k := dial(t, "unix", d.addrs["local"])
 			if tc.want == "" {
-				k.SetReadDeadline(time.Now().Add(peer.Soon))
+				k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 				if _, err := k.Read(make([]byte, 1)); err != io.EOF && !strings.Contains(err.Error(), "reset") {
 					t.Errorf("nobody's connection: %v, want it closed", err)
 				}
@@ -105,7 +105,7 @@
 		}
 		open = append(open, k)
 	}
-	peer.Eventually(t, "two open", func() bool { _, n, _, _ := d.pools[""].endpoints.Counts(); return n == 2 })
+	scriptedpeer.Eventually(t, "two open", func() bool { _, n, _, _ := d.pools[""].endpoints.Counts(); return n == 2 })
 	third := dial(t, "tcp", d.addrs["desk"])
 	resp, body := third.ask(t, request("look", 900, ""))
 	if resp.StatusCode != 503 || !strings.Contains(body, "too many requests of this client") {
@@ -125,7 +125,7 @@
 			t.Errorf("one that was open: %s", resp.Status)
 		}
 	}
-	peer.Eventually(t, "nothing held", func() bool {
+	scriptedpeer.Eventually(t, "nothing held", func() bool {
 		for _, h := range d.clients.held() {
 			if h.Client == "desk" && (h.Bytes != 0 || h.Open != 0) {
 				return false
@@ -165,9 +165,9 @@
 	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, taken, "attempt")
+	scriptedpeer.Within(t, taken, "attempt")
 	d.stop()
-	silent.SetReadDeadline(time.Now().Add(peer.Soon))
+	silent.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("a silent connection: %v, want it closed", err)
 	}
@@ -175,7 +175,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("%s, close %v", resp.Status, resp.Close)
 	}
-	if err := peer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	for _, path := range []string{"/clients.sock", "/takeover.sock"} {
@@ -197,9 +197,9 @@
 	if _, err := io.WriteString(k, request("pay", 20000, "")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, taken, "attempt")
+	scriptedpeer.Within(t, taken, "attempt")
 	d.stop()
-	if err := peer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
@@ -224,11 +224,11 @@
 		t.Error("a generation of its own for what can be changed while serving")
 	}
 	// The connection that was open has the new bounds, and only one endpoint serves.
-	peer.Eventually(t, "the new rate", func() bool {
+	scriptedpeer.Eventually(t, "the new rate", func() bool {
 		resp, _ := k.ask(t, request("look", 900, ""))
 		return resp.StatusCode == 429
 	})
-	peer.Eventually(t, "the new discovery", func() bool {
+	scriptedpeer.Eventually(t, "the new discovery", func() bool {
 		_, body := dial(t, "tcp", d.addrs["desk"]).ask(t, request("look", 900, ""))
 		return strings.Contains(body, " s-1 ")
 	})
@@ -253,7 +253,7 @@
 		t.Helper()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel() // or it would wait for the address
-		if err := Run(ctx, Options{Config: c, Log: peer.Quiet, Seed: 1}); err == nil || !strings.Contains(err.Error(), want) {
+		if err := Run(ctx, Options{Config: c, Log: scriptedpeer.Quiet, Seed: 1}); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("error %v, want %q", err, want)
 		}
 	}
@@ -261,7 +261,7 @@
 	ln.Close()
 	d := start(t, c)
 	d.stop()
-	if err := peer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // A daemon that is killed with bookings and unsafe requests in flight loses their answers and nothing else: the next
@@ -30,10 +30,10 @@
 	}
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	old := spawn(t, "daemon", text)
-	peer.Within(t, old.lines, "daemon")
+	scriptedpeer.Within(t, old.lines, "daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	ready := dial(t, "tcp", c.Listeners[0].Address)
-	peer.Eventually(t, "ready", func() bool {
+	scriptedpeer.Eventually(t, "ready", func() bool {
 		resp, _ := ready.ask(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 		return resp.StatusCode == 200
 	})
@@ -43,13 +43,13 @@
 		if _, err := io.WriteString(k, request(class, 900, "x")); err != nil {
 			t.Fatal(err)
 		}
-		peer.Within(t, held, "attempt")
+		scriptedpeer.Within(t, held, "attempt")
 		open = append(open, k)
 	}
 	old.Process.Kill()
 	<-old.ended
 	for _, k := range open {
-		k.SetReadDeadline(time.Now().Add(peer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		if n, err := k.Read(make([]byte, 1)); err == nil {
 			t.Errorf("%d bytes of an answer that nobody gave", n)
 		}
@@ -89,7 +89,7 @@
 		sits = append(sits, c)
 	}
 	for i, c := range sits[:15] {
-		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
 			t.Fatalf("connection %d of 25, 10 allowed: %v, want it closed", i, err)
 		}
@@ -136,7 +136,7 @@
 	for _, c := range slow {
 		c.Close()
 	}
-	peer.Eventually(t, "all given back", func() bool {
+	scriptedpeer.Eventually(t, "all given back", func() bool {
 		for _, h := range d.clients.held() {
 			if h.Client == "desk" && (h.Connections != 0 || h.Bytes != 0) {
 				return false
@@ -152,10 +152,10 @@
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	t.Setenv("DUNLINSAILD_TEST_FILES", "40")
 	p := spawn(t, "daemon", text)
-	peer.Within(t, p.lines, "daemon")
+	scriptedpeer.Within(t, p.lines, "daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	k := dial(t, "tcp", c.Listeners[0].Address)
-	peer.Eventually(t, "ready", func() bool {
+	scriptedpeer.Eventually(t, "ready", func() bool {
 		resp, _ := k.ask(t, request("look", 900, ""))
 		return resp.StatusCode == 200
 	})
@@ -168,7 +168,7 @@
 	served := 0
 	for range 30 { // on the connection that there was, or on a new one if that has made room
 		if _, err := io.WriteString(k, request("look", 900, "")); err == nil {
-			k.SetReadDeadline(time.Now().Add(peer.Soon))
+			k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 			if resp, err := http.ReadResponse(k.r, nil); err == nil {
 				io.Copy(io.Discard, resp.Body)
 				if resp.StatusCode == 200 {
@@ -185,7 +185,7 @@
 	for _, c := range crowd {
 		c.Close()
 	}
-	peer.Eventually(t, "it accepts again", func() bool {
+	scriptedpeer.Eventually(t, "it accepts again", func() bool {
 		k := dial(t, "tcp", c.Listeners[0].Address)
 		resp, _ := k.ask(t, request("look", 900, ""))
 		k.Close()
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // victims are client processes that are killed while an endpoint holds a request of theirs.
@@ -53,9 +53,9 @@
 	}
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	first := spawn(t, "daemon", text)
-	peer.Within(t, first.lines, "the first daemon")
+	scriptedpeer.Within(t, first.lines, "the first daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
-	peer.Eventually(t, "a list", func() bool {
+	scriptedpeer.Eventually(t, "a list", func() bool {
 		resp, err := http.Get("http://" + c.Listeners[0].Address + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -81,12 +81,12 @@
 		all = append(all, spawn(t, "client", string(with)))
 	}
 	for i := range killed {
-		peer.Within(t, v.held[fmt.Sprint("c", i)], "a request of a client that is to be killed")
+		scriptedpeer.Within(t, v.held[fmt.Sprint("c", i)], "a request of a client that is to be killed")
 		all[i].Process.Kill()
 	}
 	second := spawn(t, "daemon", text)
-	peer.Within(t, second.lines, "the second daemon")
-	if err := peer.Within(t, first.ended, "end of the first daemon"); err != nil {
+	scriptedpeer.Within(t, second.lines, "the second daemon")
+	if err := scriptedpeer.Within(t, first.ended, "end of the first daemon"); err != nil {
 		t.Errorf("the first daemon ended with %v", err)
 	}
 	drained := w.entry(5)
@@ -96,7 +96,7 @@
 	w.endpoints[4].Close() // dies; the roster does not know yet
 	gone := w.entry(4)
 	third := start(t, c)
-	if err := peer.Within(t, second.ended, "end of the second daemon"); err != nil {
+	if err := scriptedpeer.Within(t, second.ended, "end of the second daemon"); err != nil {
 		t.Errorf("the second daemon ended with %v", err)
 	}
 	gone.Lifecycle = "removed"
@@ -150,7 +150,7 @@
 		}
 	}
 	// All is given back.
-	peer.Eventually(t, "nothing open", func() bool {
+	scriptedpeer.Eventually(t, "nothing open", func() bool {
 		conns, busy := third.front.Conns()
 		waiting, inFlight, _, calls := third.pools[""].endpoints.Counts()
 		return conns == 0 && busy == 0 && waiting == 0 && inFlight == 0 && calls == 0
@@ -245,17 +245,17 @@
 			request("look", 900, "")[9:], // no request at all
 		} {
 			p := spawn(t, "talker", "unix "+local+" "+say)
-			peer.Within(t, p.lines, "a client process")
+			scriptedpeer.Within(t, p.lines, "a client process")
 			all = append(all, p)
 		}
-		peer.Within(t, open, "an open request")
+		scriptedpeer.Within(t, open, "an open request")
 		for _, p := range all {
 			p.Process.Signal(syscall.SIGKILL)
 			for range p.lines {
 			}
 			<-p.ended
 		}
-		peer.Eventually(t, "all given back", func() bool {
+		scriptedpeer.Eventually(t, "all given back", func() bool {
 			conns, busy := d.front.Conns()
 			waiting, inFlight, _, calls := d.pools[""].endpoints.Counts()
 			for _, h := range d.clients.held() {
@@ -271,7 +271,7 @@
 	for range 3 {
 		round()
 	}
-	peer.Eventually(t, "descriptors", func() bool { return files() <= before+2 })
+	scriptedpeer.Eventually(t, "descriptors", func() bool { return files() <= before+2 })
 	if after := memory(); after > heap+1<<20 {
 		t.Errorf("%d bytes of heap before, %d after", heap, after)
 	}
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -11,9 +11,9 @@
 
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // What cannot be changed while serving is changed all the same, under load: nothing is lost, connections go on, a request
@@ -47,11 +47,11 @@
 	})
 	report := make(chan client.Report, 1)
 	go func() { report <- load.Run(context.Background()) }()
-	peer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
+	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
 	if _, err := io.WriteString(inUse, request("pay", 900, "x")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Eventually(t, "an open request", func() bool { return held.Load() == 1 })
+	scriptedpeer.Eventually(t, "an open request", func() bool { return held.Load() == 1 })
 	more := "[[listener]]\nname = \"more\"\naddress = \"" + freeAddr(t) + "\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"\n"
 	var last *generation
 	for i, edits := range [][]string{
@@ -75,7 +75,7 @@
 	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("the request open at the changes: %s, close %v", resp.Status, resp.Close)
 	}
-	r := peer.Within(t, report, "report")
+	r := scriptedpeer.Within(t, report, "report")
 	if r.By[client.Served] != r.Asked || r.Asked < 500 {
 		t.Errorf("%d asked, %v", r.Asked, r.By)
 	}
@@ -89,10 +89,10 @@
 	if s := last.core.Snapshot().Pools[0]; len(s.Learned.Endpoints) != 3 || s.Learned.Endpoints[0].RTT.N < 2 {
 		t.Errorf("what the last knows: %+v", s.Learned)
 	}
-	peer.Eventually(t, "the ends of those before", func() bool {
+	scriptedpeer.Eventually(t, "the ends of those before", func() bool {
 		lives := make(chan int, 1)
 		d.process.post(func() { lives <- d.process.lives })
-		return peer.Within(t, lives, "lives") == 1
+		return scriptedpeer.Within(t, lives, "lives") == 1
 	})
 }
 
@@ -130,12 +130,12 @@
 	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, taken, "attempt")
+	scriptedpeer.Within(t, taken, "attempt")
 	silent := scripteddiscovery.New(t)
 	d.reload <- nil
 	d.next <- w.config(t, "127.0.0.1:0", addr, w.roster.Addr, silent.Addr, "worth = 5.0", "worth = 4.0")
-	peer.Within(t, silent.After, "the new generation")
-	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	scriptedpeer.Within(t, silent.After, "the new generation")
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
 	if err := Run(ctx, Options{Config: w.config(t, "127.0.0.1:0", addr), Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), "another takeover is under way") {
 		t.Errorf("another process: %v", err)
@@ -145,11 +145,11 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 {
 		t.Errorf("the request that was open: %s", resp.Status)
 	}
-	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	if _, err := k.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("its connection: %v, want it closed", err)
 	}
-	if err := peer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -30,10 +30,10 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 func TestMain(m *testing.M) {
@@ -202,7 +202,7 @@
 	t.Helper()
 	r.reload <- syscall.SIGHUP
 	r.next <- c
-	return peer.Within(t, r.told, "word of the new file")
+	return scriptedpeer.Within(t, r.told, "word of the new file")
 }
 
 // changed is change for a file that must be taken; it returns the generation that serves by it.
@@ -213,15 +213,15 @@
 	}
 	now := make(chan *generation, 1)
 	r.process.post(func() { now <- r.process.now.generation })
-	return peer.Within(t, now, "the generation")
+	return scriptedpeer.Within(t, now, "the generation")
 }
 
 // start starts a daemon and waits until it is ready.
 func start(t *testing.T, c *config.Config) *running {
 	t.Helper()
 	r, serving := launch(t, c, testLog())
-	r.addrs = peer.Within(t, serving, "a daemon that serves")
-	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	r.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
 	if err := r.core.Wait(ctx); err != nil {
 		t.Fatal("not ready: ", err)
@@ -233,7 +233,7 @@
 type options struct{ config *config.Config }
 
 // freeAddr returns an address on which nothing listens: the second process must name the same as the first.
-func freeAddr(t *testing.T) string { return peer.Nowhere(t) }
+func freeAddr(t *testing.T) string { return scriptedpeer.Nowhere(t) }
 
 func base64(b []byte) string { return b64.StdEncoding.EncodeToString(b) }
 
@@ -241,7 +241,7 @@
 	if os.Getenv("DUNLINSAILD_TEST_LOG") != "" {
 		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
-	return peer.Quiet
+	return scriptedpeer.Quiet
 }
 
 var lastID atomic.Uint64
@@ -283,7 +283,7 @@
 
 func (k *link) answer(t *testing.T) (*http.Response, string) {
 	t.Helper()
-	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -19,8 +19,8 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/differential"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/webapp"
-	"dunlinsail/internal/standin/peer"
 )
 
 // newApp starts a stand-in application.
@@ -202,9 +202,9 @@
 // goes on in the old one to its end.
 func TestTakeoverOfPools(t *testing.T) {
 	more := make(chan struct{})
-	streams := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	streams := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			q, err := peer.Take(r)
+			q, err := scriptedpeer.Take(r)
 			if err != nil {
 				return
 			}
@@ -244,14 +244,14 @@
 	}
 	streaming := dial(t, "tcp", c.Listeners[0].Address)
 	io.WriteString(streaming, "GET /listed/stream HTTP/1.1\r\nHost: h\r\n\r\n")
-	streaming.SetReadDeadline(time.Now().Add(peer.Soon))
+	streaming.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	resp, err := http.ReadResponse(streaming.r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	list(a, b) // the new process reads it at its start
 	second, serving := launch(t, c, testLog())
-	second.addrs = peer.Within(t, serving, "the second daemon")
+	second.addrs = scriptedpeer.Within(t, serving, "the second daemon")
 	s := second.core.Snapshot()
 	for _, name := range []string{"listed", "file"} {
 		p := s.Pool(name)
@@ -271,7 +271,7 @@
 	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != 200_000 {
 		t.Errorf("the answer that streamed: %d bytes, %v", n, err)
 	}
-	if err := peer.Within(t, first.ended, "the first daemon's end"); err != nil {
+	if err := scriptedpeer.Within(t, first.ended, "the first daemon's end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -15,9 +15,9 @@
 
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/takeover"
 )
 
@@ -25,7 +25,7 @@
 func succeed(t *testing.T, old *running, c *options) *running {
 	t.Helper()
 	next := start(t, c.config)
-	if err := peer.Within(t, old.ended, "end of the old one"); err != nil {
+	if err := scriptedpeer.Within(t, old.ended, "end of the old one"); err != nil {
 		t.Errorf("the old one ended with %v", err)
 	}
 	return next
@@ -78,14 +78,14 @@
 	})
 	report := make(chan client.Report, 1)
 	go func() { report <- load.Run(context.Background()) }()
-	peer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
+	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
 	if _, err := io.WriteString(inUse, request("pay", 900, "x")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Eventually(t, "an open request", func() bool { return held.Load() == 1 })
+	scriptedpeer.Eventually(t, "an open request", func() bool { return held.Load() == 1 })
 	// The first handover ends once the open request has its answer, from the old process.
 	second, serving := launch(t, c.config, testLog())
-	second.addrs = peer.Within(t, serving, "second")
+	second.addrs = scriptedpeer.Within(t, serving, "second")
 	if n, _ := d.front.Conns(); n == 0 {
 		t.Error("the first has ended with a request open")
 	}
@@ -93,7 +93,7 @@
 	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("the request open at the handover: %s, close %v", resp.Status, resp.Close)
 	}
-	if err := peer.Within(t, d.ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end of the first"); err != nil {
 		t.Error(err)
 	}
 	third := succeed(t, second, c)
@@ -102,7 +102,7 @@
 			t.Errorf("the connection %s, two processes later: %s", name, resp.Status)
 		}
 	}
-	r := peer.Within(t, report, "report")
+	r := scriptedpeer.Within(t, report, "report")
 	if r.By[client.Served] != r.Asked || r.Asked < 500 {
 		t.Errorf("%d asked, %v", r.Asked, r.By)
 	}
@@ -135,10 +135,10 @@
 	if _, err := io.WriteString(k, request("pay", 900, "")); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, taken, "attempt")
+	scriptedpeer.Within(t, taken, "attempt")
 	second := start(t, w.config(t, "127.0.0.1:0", addr, `drain_within = "3s"`, `drain_within = "50ms"`))
 	third := start(t, w.config(t, "127.0.0.1:0", addr))
-	if err := peer.Within(t, second.ended, "end of the second"); err != nil {
+	if err := scriptedpeer.Within(t, second.ended, "end of the second"); err != nil {
 		t.Error(err)
 	}
 	for range 20 {
@@ -156,7 +156,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 {
 		t.Errorf("the open request: %s", resp.Status)
 	}
-	if err := peer.Within(t, first.ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Within(t, first.ended, "end of the first"); err != nil {
 		t.Error(err)
 	}
 }
@@ -186,7 +186,7 @@
 	// One more listener, at an address that another process holds.
 	bad := w.config(t, "127.0.0.1:0", c.Listeners[0].Address, "[[client]]\nname = \"desk\"",
 		"[[listener]]\nname = \"more\"\naddress = \""+w.roster.Addr+"\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"")
-	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
 	if err := Run(ctx, Options{Config: bad, Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), `listener "more"`) {
 		t.Errorf("the new one: %v", err)
@@ -198,7 +198,7 @@
 // stillServes checks that a daemon serves on its old connections and on new ones, on all its listeners.
 func (r *running) stillServes(t *testing.T, old ...*link) {
 	t.Helper()
-	peer.Eventually(t, "no takeover", func() bool {
+	scriptedpeer.Eventually(t, "no takeover", func() bool {
 		c, err := takeover.Dial(r.o.Config.Takeover.Socket)
 		if err != nil {
 			return false
@@ -322,7 +322,7 @@
 			if _, err := io.WriteString(busy, request("pay", 900, "x")); err != nil {
 				t.Fatal(err)
 			}
-			peer.Within(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
+			scriptedpeer.Within(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
 			tc.do(take(t, c.Takeover.Socket))
 			close(hold)
 			if resp, _ := busy.answer(t); resp.StatusCode != 200 {
@@ -354,7 +354,7 @@
 		}
 		k.Close()
 		var m takeover.Message
-		peer.Eventually(t, "an answer to the version", func() bool {
+		scriptedpeer.Eventually(t, "an answer to the version", func() bool {
 			c := must(takeover.Dial(d.o.Config.Takeover.Socket))
 			defer c.Close()
 			c.Write(takeover.Message{Kind: decide.Hello, Text: []byte("999")})
@@ -397,7 +397,7 @@
 		}
 	}()
 	took()
-	c := peer.Within(t, got, "taker")
+	c := scriptedpeer.Within(t, got, "taker")
 	t.Cleanup(func() { c.Close() })
 	g := &giving{&taking{t, c}, ln}
 	g.hear(decide.Hello)
@@ -462,7 +462,7 @@
 			}
 			g.hear(decide.Prepared)
 			g.say(decide.Yours, "")
-			next.addrs = peer.Within(t, serving, "a daemon that serves")
+			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
 			s := next.core.Snapshot().Pools[0]
 			known := len(s.Learned.Endpoints) == 1 && len(s.Learned.Endpoints[0].Window) > 0
 			if known != tc.taken {
@@ -524,7 +524,7 @@
 			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
 			tc.do(g)
 			if !tc.serves {
-				if err := peer.Within(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
+				if err := scriptedpeer.Within(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
 					t.Errorf("it ended with %v", err)
 				}
 				if len(serving) != 0 {
@@ -532,8 +532,8 @@
 				}
 				return
 			}
-			next.addrs = peer.Within(t, serving, "a daemon that serves")
-			peer.Eventually(t, "answers", func() bool {
+			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
+			scriptedpeer.Eventually(t, "answers", func() bool {
 				resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, ""))
 				return resp.StatusCode == 200
 			})
@@ -567,7 +567,7 @@
 	}
 	m.CloseFiles()
 	k.hear(decide.Done)
-	if err := peer.Within(t, d.ended, "end of the old one"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end of the old one"); err != nil {
 		t.Error(err)
 	}
 
@@ -581,9 +581,9 @@
 	unready.Discovery.Address = mute.Addr
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, Options{Config: &unready, Log: testLog(), Seed: 3}) }()
-	peer.Within(t, mute.After, "a new process that starts")
+	scriptedpeer.Within(t, mute.After, "a new process that starts")
 	cancel()
-	if err := peer.Within(t, ended, "end of the new one"); err != nil {
+	if err := scriptedpeer.Within(t, ended, "end of the new one"); err != nil {
 		t.Errorf("the new one: %v", err)
 	}
 	d.stillServes(t)
@@ -599,7 +599,7 @@
 	load := desk(addr, 500, 3*time.Second, nil)
 	report := make(chan client.Report, 1)
 	go func() { report <- load.Run(context.Background()) }()
-	peer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 300 })
+	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 300 })
 	// One starts anew, one begins to drain, and at the same moment the processes change.
 	cold, drained := w.entry(1), w.entry(2)
 	cold.StartedMs = time.Now().UnixMilli()
@@ -607,7 +607,7 @@
 	w.roster.Set(cold, drained)
 	told := time.Now()
 	next := succeed(t, d, c)
-	r := peer.Within(t, report, "report")
+	r := scriptedpeer.Within(t, report, "report")
 	if r.By[client.Served] < r.Asked*95/100 {
 		t.Errorf("%d asked, %v", r.Asked, r.By)
 	}
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -14,10 +14,10 @@
 
 	"dunlinsail/internal/config"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/peer"
 )
 
 // managed returns the edits of a world's file that have versions come from a service; more are edits of its table control.
@@ -66,12 +66,12 @@
 		c, _ = r.process.config(pair)
 		got <- pair.String()
 	})
-	return peer.Within(t, got, "what runs"), c
+	return scriptedpeer.Within(t, got, "what runs"), c
 }
 
 func eventually(t *testing.T, s *xdsserver.Service, version, say string) {
 	t.Helper()
-	for end := time.Now().Add(2 * peer.Soon); !s.Told("", version, say); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * scriptedpeer.Soon); !s.Told("", version, say); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("version %s: %q, not %q", version, s.About("", version), say)
 		}
@@ -98,7 +98,7 @@
 	go func() { report <- load.Run(ctx) }()
 	return func() client.Report {
 		cancel()
-		return peer.Within(t, report, "report")
+		return scriptedpeer.Within(t, report, "report")
 	}
 }
 
@@ -132,7 +132,7 @@
 	} {
 		set(t, s, step.version, step.all, step.release)
 		eventually(t, s, step.version, step.say)
-		peer.Eventually(t, step.runs, func() bool { runs, _ := d.runs(t); return runs == step.runs })
+		scriptedpeer.Eventually(t, step.runs, func() bool { runs, _ := d.runs(t); return runs == step.runs })
 		if runs, c := d.runs(t); runs != step.runs || c.Attempts.Most != step.most {
 			t.Errorf("after %s: %s runs, attempts.most %d", step.version, runs, c.Attempts.Most)
 		}
@@ -161,9 +161,9 @@
 	} {
 		set(t, s, version, harm, nil)
 		eventually(t, s, version, "refused: worse by service: service 1.0000 before, 0.")
-		peer.Eventually(t, "the way back", func() bool { runs, _ := d.runs(t); return runs == "1 over file 1" })
+		scriptedpeer.Eventually(t, "the way back", func() bool { runs, _ := d.runs(t); return runs == "1 over file 1" })
 		s.Drop() // it is sent again
-		peer.Eventually(t, "refused again", func() bool { return len(s.About("", version)) >= 3 })
+		scriptedpeer.Eventually(t, "refused again", func() bool { return len(s.About("", version)) >= 3 })
 		if runs, _ := d.runs(t); runs != "1 over file 1" {
 			t.Errorf("%s runs", runs)
 		}
@@ -194,7 +194,7 @@
 	stop := func(d *running) {
 		t.Helper()
 		d.stop()
-		if err := peer.Within(t, d.ended, "end"); err != nil {
+		if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 			t.Error(err)
 		}
 	}
@@ -238,7 +238,7 @@
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
 	d := start(t, w.config(t, w.managed(freeAddr(t), "i-1")...))
-	peer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
 	state := filepath.Join(w.dir, "i-1")
 	if err := os.Symlink("/dev/full", filepath.Join(state, "state.part")); err != nil {
 		t.Fatal(err)
@@ -253,7 +253,7 @@
 		t.Errorf("%s runs", runs)
 	}
 	os.RemoveAll(state + "/state")
-	for end := time.Now().Add(3 * peer.Soon); ; time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(3 * scriptedpeer.Soon); ; time.Sleep(10 * time.Millisecond) {
 		if text, err := os.ReadFile(state + "/state"); err == nil && strings.Contains(string(text), `"good"`) {
 			break
 		}
@@ -270,7 +270,7 @@
 	s := w.withSteward(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
-	peer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
 	k := take(t, w.dir+"/takeover.sock")
 	k.hear(decide.Offer)
 	set(t, s, "1", tries(2), nil)
@@ -292,10 +292,10 @@
 	// The file goes first, and ends the trial.
 	d.reload <- syscall.SIGHUP
 	d.next <- w.config(t, append(w.managed(addr, "i-1"), "worth = 5.0", "worth = 3.0")...)
-	peer.Eventually(t, "the file", func() bool { runs, _ := d.runs(t); return runs == "4 over file 2" })
+	scriptedpeer.Eventually(t, "the file", func() bool { runs, _ := d.runs(t); return runs == "4 over file 2" })
 	// Another process takes over: nothing that it tried is held against the version.
 	next := start(t, w.config(t, append(w.managed(addr, "i-1"), "worth = 5.0", "worth = 3.0")...))
-	if err := peer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	eventually(t, s, "4", "good")
@@ -305,14 +305,14 @@
 	if _, err := open.Write([]byte(request("pay", 900, ""))); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, taken, "attempt")
+	scriptedpeer.Within(t, taken, "attempt")
 	next.stop()
 	set(t, s, "5", tries(2), nil)
 	close(hold)
 	if resp, _ := open.answer(t); resp.StatusCode != 200 {
 		t.Error(resp.Status)
 	}
-	if err := peer.Within(t, next.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, next.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	if said := s.About("", "5"); len(said) > 0 {
@@ -331,18 +331,18 @@
 	edits := w.managed(addr, "i-1", `trial = "1s"`, `trial = "1h"`)
 	for n := range 2 {
 		p := spawn(t, "daemon", w.file(edits...))
-		peer.Within(t, p.lines, "a daemon that serves")
+		scriptedpeer.Within(t, p.lines, "a daemon that serves")
 		if n == 0 {
 			set(t, s, "1", tries(2), nil)
 		}
-		peer.Eventually(t, "a trial", func() bool { return len(s.About("", "1")) == n+1 })
+		scriptedpeer.Eventually(t, "a trial", func() bool { return len(s.About("", "1")) == n+1 })
 		if err := p.Process.Kill(); err != nil {
 			t.Fatal(err)
 		}
 		<-p.ended
 	}
 	p := spawn(t, "daemon", w.file(edits...))
-	peer.Within(t, p.lines, "a daemon that serves")
+	scriptedpeer.Within(t, p.lines, "a daemon that serves")
 	eventually(t, s, "1", "refused: 2 processes ended while they tried version 1")
 	if resp, _ := dial(t, "tcp", addr).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Error(resp.Status)
@@ -372,7 +372,7 @@
 		all = append(all, start(t, w.config(t, edits...)))
 		ends = append(ends, steady(t, node, addr, 12))
 	}
-	peer.Eventually(t, "the streams", func() bool { return s.Streams() == 20 })
+	scriptedpeer.Eventually(t, "the streams", func() bool { return s.Streams() == 20 })
 	changes(w, s, nodes)
 	var f fleet
 	for _, end := range ends {
@@ -411,7 +411,7 @@
 		bad := 0
 		said := func(version, text string, by []string) {
 			t.Helper()
-			for end := time.Now().Add(3 * peer.Soon); ; time.Sleep(5 * time.Millisecond) {
+			for end := time.Now().Add(3 * scriptedpeer.Soon); ; time.Sleep(5 * time.Millisecond) {
 				n := 0
 				for _, node := range by {
 					if s.Told(node, version, text) {
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -14,14 +14,14 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/webapp"
-	"dunlinsail/internal/standin/peer"
 )
 
 // settled waits until nothing is open any more.
 func (d *running) settled(t *testing.T) {
 	t.Helper()
-	peer.Eventually(t, "nothing open", func() bool {
+	scriptedpeer.Eventually(t, "nothing open", func() bool {
 		for _, p := range d.pools {
 			if waiting, inFlight, _, calls := p.endpoints.Counts(); waiting+inFlight+calls > 0 {
 				return false
@@ -93,7 +93,7 @@
 		k := dial(t, "tcp", addr)
 		method, _, _ := strings.Cut(tc.text, " ")
 		io.WriteString(k, tc.text)
-		k.SetReadDeadline(time.Now().Add(peer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		resp, err := http.ReadResponse(k.r, &http.Request{Method: method})
 		if err != nil {
 			t.Errorf("%q: %v", tc.text, err)
@@ -167,7 +167,7 @@
 				k.r.Peek(1)
 				io.WriteString(k, text[cut:])
 			}
-			k.SetReadDeadline(time.Now().Add(peer.Soon))
+			k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 			resp, err := http.ReadResponse(k.r, nil)
 			if err != nil {
 				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !strings.Contains(err.Error(), "reset") {
@@ -191,7 +191,7 @@
 // An endpoint that answers before it has read the body: its answer arrives, and the rest of the body goes nowhere.
 func TestEarlyAnswer(t *testing.T) {
 	got := make(chan int64, 1)
-	early := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	early := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -210,11 +210,11 @@
 	if resp, body := k.answer(t); resp.StatusCode != 413 || body != "small" || resp.Header.Get("X-Mine") != "yes" || resp.Header.Get("Proxy-Status") != "" {
 		t.Errorf("%s %q %v", resp.Status, body, resp.Header)
 	}
-	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	if _, err := k.r.ReadByte(); err == nil || isTimeout(err) {
 		t.Errorf("the connection stays open on half a body: %v", err)
 	}
-	if n := peer.Within(t, got, "the endpoint's end"); n > 10_000_000 {
+	if n := scriptedpeer.Within(t, got, "the endpoint's end"); n > 10_000_000 {
 		t.Errorf("the endpoint got %d bytes more", n)
 	}
 	d.settled(t)
@@ -259,7 +259,7 @@
 				k.Conn.(*net.TCPConn).CloseWrite()
 			}
 		}()
-		k.SetReadDeadline(time.Now().Add(peer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		resp, err := http.ReadResponse(k.r, nil)
 		switch {
 		case tc.want == 0: // it is gone: what it would have been told does not matter
@@ -327,9 +327,9 @@
 func TestSlowReaderHoldsTheEndpointBack(t *testing.T) {
 	var sent atomic.Int64
 	ended := make(chan struct{})
-	endpoint := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	endpoint := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		defer close(ended)
-		if _, err := peer.Take(r); err != nil {
+		if _, err := scriptedpeer.Take(r); err != nil {
 			return
 		}
 		const gib = 1 << 30
@@ -347,12 +347,12 @@
 	k := dial(t, "tcp", addr)
 	k.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 	io.WriteString(k, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	if resp, err := http.ReadResponse(k.r, nil); err != nil || resp.ContentLength != 1<<30 {
 		t.Fatal(err)
 	}
 	last, same := int64(-1), 0
-	peer.Eventually(t, "an endpoint that waits", func() bool {
+	scriptedpeer.Eventually(t, "an endpoint that waits", func() bool {
 		time.Sleep(10 * time.Millisecond)
 		if now := sent.Load(); now != last {
 			last, same = now, 0
@@ -368,7 +368,7 @@
 		t.Errorf("read on: %v", err)
 	}
 	k.Close()
-	peer.Within(t, ended, "the end of the attempt")
+	scriptedpeer.Within(t, ended, "the end of the attempt")
 	d.settled(t)
 }
 
@@ -397,14 +397,14 @@
 		"a chunk that is none":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + big + "\r\n-1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			endpoint := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				if _, err := peer.Take(r); err == nil {
+			endpoint := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := scriptedpeer.Take(r); err == nil {
 					io.WriteString(c, text)
 					r.Peek(1) // until it is let go, or has sent all
 				}
 			})
-			slow := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				if _, err := peer.Take(r); err == nil {
+			slow := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := scriptedpeer.Take(r); err == nil {
 					io.WriteString(c, text)
 					time.Sleep(30 * time.Millisecond)
 					c.SetLinger(0)
@@ -414,7 +414,7 @@
 				d, addr := routed(t, eight+"idle = \"200ms\"\n", "ADDRS", `"`+at+`"`)
 				k := dial(t, "tcp", addr)
 				fmt.Fprintf(k, "GET / HTTP/%.3s\r\nHost: h\r\n\r\n", version)
-				k.SetReadDeadline(time.Now().Add(peer.Soon))
+				k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 				resp, err := http.ReadResponse(k.r, nil)
 				if err != nil {
 					t.Fatal(err)
@@ -450,8 +450,8 @@
 // A route that is taken away while its requests stream: they end whole where they are, and the next go elsewhere.
 func TestRouteTakenAwayWhileItStreams(t *testing.T) {
 	more := make(chan struct{})
-	old := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := peer.Take(r); err == nil {
+	old := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := scriptedpeer.Take(r); err == nil {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 100_000))
 			<-more
 			io.WriteString(c, strings.Repeat("y", 100_000))
@@ -463,7 +463,7 @@
 	d, addr := routed(t, text, "ONE", `"`+old+`"`, "TWO", addrs(b))
 	k := dial(t, "tcp", addr)
 	io.WriteString(k, "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n")
-	k.SetReadDeadline(time.Now().Add(peer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -527,13 +527,13 @@
 	}
 	for range 3 {
 		s, r := served.Load(), refused.Load()
-		peer.Eventually(t, "requests served", func() bool { return served.Load() > s+50 })
+		scriptedpeer.Eventually(t, "requests served", func() bool { return served.Load() > s+50 })
 		d.changed(t, parse(t, eight, "ADDRS", ""))
-		peer.Eventually(t, "requests refused", func() bool { return refused.Load() > r+50 })
+		scriptedpeer.Eventually(t, "requests refused", func() bool { return refused.Load() > r+50 })
 		d.changed(t, parse(t, eight, "ADDRS", addrs(a)))
 	}
 	s := served.Load()
-	peer.Eventually(t, "requests served", func() bool { return served.Load() > s+50 })
+	scriptedpeer.Eventually(t, "requests served", func() bool { return served.Load() > s+50 })
 	cancel()
 	clients.Wait()
 	if n := other.Load(); n > 0 {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -17,14 +17,14 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/fake/scripteddiscovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // watching starts a watcher and returns what it tells.
 func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.Told {
 	told := make(chan engine.Told, 16)
-	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.Told) { told <- l }, peer.Quiet)
-	w.Mute, w.Answer = mute, peer.Soon // a busy machine is no silence
+	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.Told) { told <- l }, scriptedpeer.Quiet)
+	w.Mute, w.Answer = mute, scriptedpeer.Soon // a busy machine is no silence
 	s := discovery.Keep(w)
 	s.Watch(true)
 	t.Cleanup(s.Close)
@@ -35,16 +35,16 @@
 // passed over.
 func TestWatch(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, peer.Soon)
+	told := watching(t, b, scriptedpeer.Soon)
 	expect := func(want string) {
 		t.Helper()
-		if got := peer.Within(t, b.After, "watch"); got != want {
+		if got := scriptedpeer.Within(t, b.After, "watch"); got != want {
 			t.Errorf("watch asked with %q, want %q", got, want)
 		}
 	}
 	hear := func(want int64) {
 		t.Helper()
-		if got := peer.Within(t, told, "list").Generation; got != want {
+		if got := scriptedpeer.Within(t, told, "list").Generation; got != want {
 			t.Errorf("told of %d, want %d", got, want)
 		}
 	}
@@ -69,8 +69,8 @@
 func TestMuteWatch(t *testing.T) {
 	b := scripteddiscovery.New(t)
 	watching(t, b, 50*time.Millisecond)
-	peer.Within(t, b.After, "first watch")
-	if got := peer.Within(t, b.After, "watch after a mute one"); got != "1 7" {
+	scriptedpeer.Within(t, b.After, "first watch")
+	if got := scriptedpeer.Within(t, b.After, "watch after a mute one"); got != "1 7" {
 		t.Errorf("asked with %q, want %q", got, "1 7")
 	}
 }
@@ -78,8 +78,8 @@
 // A list may come indented, over many lines and in any pieces, also behind blank lines. What does not end is cut off.
 func TestIndentedLists(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, peer.Soon)
-	peer.Within(t, b.After, "watch")
+	told := watching(t, b, scriptedpeer.Soon)
+	scriptedpeer.Within(t, b.After, "watch")
 	whole := scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, []byte(whole), "", "  "); err != nil {
@@ -89,20 +89,20 @@
 	for _, line := range strings.SplitAfter(indented.String(), "\n") { // each as a piece of its own, with a line's end more
 		b.Lines <- line
 	}
-	got := peer.Within(t, told, "indented list")
+	got := scriptedpeer.Within(t, told, "indented list")
 	if got.Generation != 8 || len(got.Members) != 1 || got.Members[0].Name != "s-1" {
 		t.Errorf("told %+v", got)
 	}
 	b.Lines <- scripteddiscovery.Line(9, false) + scripteddiscovery.Line(10, false)
 	for want := int64(9); want <= 10; want++ {
-		if got := peer.Within(t, told, "list of two on a line"); got.Generation != want {
+		if got := scriptedpeer.Within(t, told, "list of two on a line"); got.Generation != want {
 			t.Errorf("told of %d, want %d", got.Generation, want)
 		}
 	}
 	for range 18 { // of a program of 16 MB a list may take one
 		b.Lines <- `{"generation":11,"reset":true,"instances":[` + strings.Repeat(" ", 64<<10)
 	}
-	if got := peer.Within(t, b.After, "watch after a list without end"); got != "1 10" {
+	if got := scriptedpeer.Within(t, b.After, "watch after a list without end"); got != "1 10" {
 		t.Errorf("asked with %q, want %q", got, "1 10")
 	}
 }
@@ -112,7 +112,7 @@
 	var calls atomic.Int32
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
-	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		if i := int(calls.Add(1)) - 1; i < len(handle) {
 			handle[i](c, r)
 		}
@@ -130,12 +130,12 @@
 func TestSilentWatchesInARow(t *testing.T) {
 	list := scripteddiscovery.Line(9, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	silences := map[string]func(c *net.TCPConn, r *bufio.Reader){
-		"after its head": func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead) },
+		"after its head": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r); io.WriteString(c, watchHead) },
 		"in a list": func(c *net.TCPConn, r *bufio.Reader) {
-			peer.Take(r)
+			scriptedpeer.Take(r)
 			io.WriteString(c, watchHead+chunk(list[:20]))
 		},
-		"never answered": func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) },
+		"never answered": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) },
 	}
 	for name, silence := range silences {
 		for mode, source := range map[string]func(w *discovery.Watcher) *discovery.Source{
@@ -150,22 +150,22 @@
 				told := make(chan engine.Told, 4)
 				silent := make(chan time.Time, 1)
 				open := func(c *net.TCPConn, r *bufio.Reader) {
-					peer.Take(r)
+					scriptedpeer.Take(r)
 					io.WriteString(c, watchHead+chunk(scripteddiscovery.Line(8, true)))
 					silent <- time.Now()
 				}
-				good := func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r); io.WriteString(c, watchHead+chunk(list)) }
+				good := func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r); io.WriteString(c, watchHead+chunk(list)) }
 				calls := []func(*net.TCPConn, *bufio.Reader){open, silence, good}
 				if mode == "asked" {
 					calls = []func(*net.TCPConn, *bufio.Reader){open, good}
 				}
-				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.Told) { told <- l }, peer.Quiet)
+				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.Told) { told <- l }, scriptedpeer.Quiet)
 				s := source(w)
 				s.Watch(true)
 				t.Cleanup(s.Close)
-				peer.Within(t, told, "first list")
+				scriptedpeer.Within(t, told, "first list")
 				from := <-silent
-				if got := peer.Within(t, told, "list of the watch that speaks"); got.Generation != 9 {
+				if got := scriptedpeer.Within(t, told, "list of the watch that speaks"); got.Generation != 9 {
 					t.Errorf("told of %d", got.Generation)
 				}
 				if took := time.Since(from); took > 6*time.Second {
@@ -180,29 +180,29 @@
 // watch is passed over as before, and an endpoint known to drain is not brought back by it.
 func TestGenerationsBeginAnew(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, peer.Soon)
+	told := watching(t, b, scriptedpeer.Soon)
 	expect := func(want string) {
 		t.Helper()
-		if got := peer.Within(t, b.After, "call"); got != want {
+		if got := scriptedpeer.Within(t, b.After, "call"); got != want {
 			t.Errorf("asked with %q, want %q", got, want)
 		}
 	}
 	expect("1 7")
 	b.Lines <- scripteddiscovery.Line(41, true)
-	peer.Within(t, told, "list before")
+	scriptedpeer.Within(t, told, "list before")
 	b.Lines <- scripteddiscovery.Line(3, true) // late, on the watch that has told more
 	b.Lines <- ""
 	expect("1 41")
 	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	expect(" ") // the whole list
 	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
-	got := peer.Within(t, told, "list of the new history")
+	got := scriptedpeer.Within(t, told, "list of the new history")
 	if got.Generation != 3 || !got.Anew || !got.Back || got.Kind != balancer.ListFull {
 		t.Errorf("told %+v", got)
 	}
 	expect("1 3")
 	b.Lines <- scripteddiscovery.Line(4, false)
-	if got := peer.Within(t, told, "what follows"); got.Generation != 4 || got.Anew {
+	if got := scriptedpeer.Within(t, told, "what follows"); got.Generation != 4 || got.Anew {
 		t.Errorf("told %+v", got)
 	}
 }
@@ -210,14 +210,14 @@
 // An answer that was late by itself does not begin anything: the whole list shows it.
 func TestLateFirstAnswer(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, peer.Soon)
-	peer.Within(t, b.After, "watch")
+	told := watching(t, b, scriptedpeer.Soon)
+	scriptedpeer.Within(t, b.After, "watch")
 	b.Lines <- scripteddiscovery.Line(5, true) // asked for what is newer than 7
-	if got := peer.Within(t, b.After, "call"); got != " " {
+	if got := scriptedpeer.Within(t, b.After, "call"); got != " " {
 		t.Errorf("asked with %q, want the whole list", got)
 	}
 	b.Lines <- scripteddiscovery.Line(8, true)
-	if got := peer.Within(t, told, "list"); got.Generation != 8 || got.Anew {
+	if got := scriptedpeer.Within(t, told, "list"); got.Generation != 8 || got.Anew {
 		t.Errorf("told %+v", got)
 	}
 }
--- a/internal/endpointsource/membership_test.go
+++ b/internal/endpointsource/membership_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -29,7 +29,7 @@
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pool.json")
 	told := make(chan engine.Told, 1)
-	f := Watch(path, time.Millisecond, func(_ context.Context, t engine.Told) { told <- t }, peer.Quiet)
+	f := Watch(path, time.Millisecond, func(_ context.Context, t engine.Told) { told <- t }, scriptedpeer.Quiet)
 	defer f.Close()
 	write := func(text string) {
 		t.Helper()
@@ -67,7 +67,7 @@
 			}
 		}
 		write(tc.text)
-		got := peer.Within(t, told, "a list")
+		got := scriptedpeer.Within(t, told, "a list")
 		if fmt.Sprint(names(got)) != fmt.Sprint(tc.want) || got.Generation <= last {
 			t.Errorf("%v of generation %d, want %v after %d", names(got), got.Generation, tc.want, last)
 		}
--- a/internal/experiment/faults_test.go
+++ b/internal/experiment/faults_test.go
@@ -12,8 +12,8 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/daemon"
 	"dunlinsail/internal/experiment/library"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/simulation/scenario"
-	"dunlinsail/internal/standin/peer"
 )
 
 // serve is a daemon's process.
@@ -22,7 +22,7 @@
 	defer cancel()
 	c, err := config.Read(file)
 	if err == nil {
-		err = daemon.Run(ctx, daemon.Options{Config: c, Log: peer.Quiet})
+		err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.Quiet})
 	}
 	if err != nil {
 		os.Exit(1)
--- a/internal/experiment/processes/live_test.go
+++ b/internal/experiment/processes/live_test.go
@@ -15,9 +15,9 @@
 	"dunlinsail/deploy"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/scenario"
-	"dunlinsail/internal/standin/peer"
 )
 
 // TestMain lets the test's own program stand for the daemon's, which is started with a file.
@@ -27,7 +27,7 @@
 		defer cancel()
 		c, err := config.Read(os.Args[2])
 		if err == nil {
-			err = daemon.Run(ctx, daemon.Options{Config: c, Log: peer.Quiet})
+			err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.Quiet})
 		}
 		if err != nil {
 			os.Exit(1)
@@ -155,7 +155,7 @@
 	o := options(t, world)
 	o.Daemon = "/bin/false"
 	began := time.Now()
-	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > peer.Soon {
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > scriptedpeer.Soon {
 		t.Errorf("after %v: %v", time.Since(began), err)
 	}
 	o = options(t, world+"[[event]]\nwhat = \"restart\"\nat = \"1s\"\nfor = \"500ms\"\n")
--- a/internal/fake/scripteddiscovery/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	"dunlinsail/internal/discovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // Board is a discovery whose watches are written by hand.
@@ -32,7 +32,7 @@
 // New starts a board.
 func New(t testing.TB) *Board {
 	b := &Board{After: make(chan string, 16), Lines: make(chan string)}
-	b.Addr = peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	b.Addr = scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(r.Context())
 		defer b.take(cancel)()
 		b.After <- r.FormValue("watch") + " " + r.FormValue("after")
--- a/internal/standin/peer/peer.go
+++ b/internal/fake/scriptedpeer/peer.go
@@ -1,6 +1,6 @@
-// Package peer holds scripted peers for the project's tests: servers on loopback whose every byte a test writes
+// Package scriptedpeer holds scripted peers for the project's tests: servers on loopback whose every byte a test writes
 // by hand, and bounded waits for what must come.
-package peer
+package scriptedpeer
 
 import (
 	"bufio"
--- a/internal/frontend/http1/conns_test.go
+++ b/internal/frontend/http1/conns_test.go
@@ -8,7 +8,7 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/connlimit"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // A connection at rest that is called to be handed over stays open if that is taken back before it could go.
@@ -29,7 +29,7 @@
 			}
 			said <- b[0]
 		}
-	}, peer.Quiet)
+	}, scriptedpeer.Quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,10 +49,10 @@
 		if _, err := client.Write([]byte{round}); err != nil {
 			t.Fatal(err)
 		}
-		if got := peer.Within(t, said, "a byte"); got != round {
+		if got := scriptedpeer.Within(t, said, "a byte"); got != round {
 			t.Fatalf("%q, want %q", got, round)
 		}
-		peer.Eventually(t, "the connection at rest", func() bool {
+		scriptedpeer.Eventually(t, "the connection at rest", func() bool {
 			k.mu.Lock()
 			defer k.mu.Unlock()
 			n := 0
@@ -69,7 +69,7 @@
 		k.mu.Unlock()
 	}
 	io.WriteString(client, "z")
-	if got := peer.Within(t, said, "a byte"); got != 'z' {
+	if got := scriptedpeer.Within(t, said, "a byte"); got != 'z' {
 		t.Fatal("closed")
 	}
 }
@@ -102,7 +102,7 @@
 					c.in.Read(make([]byte, 1))
 				}
 				<-over
-			}, peer.Quiet)
+			}, scriptedpeer.Quiet)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -129,12 +129,12 @@
 			first := enter()
 			defer first.Close()
 			io.WriteString(first, tc.before)
-			c := peer.Within(t, step, "the server's look")
+			c := scriptedpeer.Within(t, step, "the server's look")
 			switch {
 			case tc.again: // until it waits for more
-				peer.Eventually(t, "the server's second look", c.in.empty)
+				scriptedpeer.Eventually(t, "the server's second look", c.in.empty)
 			case tc.before != "" && !tc.read:
-				peer.Eventually(t, "bytes in the kernel", func() bool { return !c.in.empty() })
+				scriptedpeer.Eventually(t, "bytes in the kernel", func() bool { return !c.in.empty() })
 			}
 			defer enter().Close()
 			k.mu.Lock()
@@ -179,7 +179,7 @@
 		t.Error("the request itself was taken for a next one")
 	}
 	io.WriteString(client, "next")
-	peer.Eventually(t, "the next has come", func() bool { return !f.closes(c) })
+	scriptedpeer.Eventually(t, "the next has come", func() bool { return !f.closes(c) })
 	f.endBy.Store(f.o.Clock.Now())
 	if !f.closes(c) {
 		t.Error("a next one is waited for when there is no time left")
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -9,13 +9,13 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/eventlog"
 	"dunlinsail/internal/fake/scripteddiscovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // What is done at an endpoint is told, by its name and under its address, and read again by who counts a fleet's logs.
 func TestEventsAreTold(t *testing.T) {
-	addr := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
-	c := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
+	c := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	var out bytes.Buffer
 	c.Events = &out
 	s := start(t, c)
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/platform"
-	"dunlinsail/internal/standin/peer"
 )
 
 // TestWordsOfEarlierBuild reads the file of words by hand that the build of commit 870f4ac wrote, and encodes them to the
@@ -24,7 +24,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s := &sidecar{config: &platform.Config{Meeting: dir}, log: peer.Quiet}
+	s := &sidecar{config: &platform.Config{Meeting: dir}, log: scriptedpeer.Quiet}
 	words := s.spoken()
 	want := []cordon.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -16,7 +16,7 @@
 
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/scripteddiscovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // held is a dial that is done, and whose connection is kept back until the test lets it go: a handshake that takes its time.
@@ -48,13 +48,13 @@
 
 // counting is an endpoint that counts the bytes of what comes, and answers.
 func counting(t *testing.T, bytes *atomic.Int64) string {
-	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
 			if _, err := r.Peek(1); err != nil {
 				return
 			}
 			bytes.Add(int64(r.Buffered()))
-			if _, err := peer.Take(r); err != nil {
+			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
@@ -83,7 +83,7 @@
 // forgets waits until nothing of any request is held any more, and fails the test if that took too long since the client left.
 func (s *running) forgets(t *testing.T, left time.Time) {
 	t.Helper()
-	peer.Eventually(t, "its place is free", func() bool {
+	scriptedpeer.Eventually(t, "its place is free", func() bool {
 		_, inFlight, _, calls := s.parts.endpoints.Counts()
 		return inFlight == 0 && calls == 0
 	})
@@ -94,9 +94,9 @@
 
 // hanging is an endpoint that takes requests, counts them and never answers.
 func hanging(t *testing.T, taken *atomic.Int32) string {
-	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			if _, err := peer.Take(r); err != nil {
+			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
 			taken.Add(1)
@@ -144,7 +144,7 @@
 					t.Parallel()
 					var got atomic.Int64
 					h := holdDials()
-					cfg := configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
+					cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
 					s := startDialing(t, cfg, h.dial)
 					nc, err := net.Dial("tcp", s.addr)
 					if err != nil {
@@ -152,11 +152,11 @@
 					}
 					defer nc.Close()
 					go io.WriteString(nc, sent(t, make())) // a body that streams is not taken before the connection is up
-					peer.Within(t, h.dialing, "dial")
+					scriptedpeer.Within(t, h.dialing, "dial")
 					leave(t, nc.(*net.TCPConn))
 					left := time.Now()
 					s.forgets(t, left)
-					peer.Eventually(t, "the dial is given up", func() bool { return h.ended.Load() == 1 })
+					scriptedpeer.Eventually(t, "the dial is given up", func() bool { return h.ended.Load() == 1 })
 					close(h.release)
 					// Another goes on as ever, and what was held for the one that left would have come before.
 					if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
@@ -181,7 +181,7 @@
 	var mu sync.Mutex
 	var taken []time.Time
 	release := make(chan struct{})
-	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/load" {
 			<-release
 			return
@@ -198,7 +198,7 @@
 	}
 	for round := 0; ; round++ {
 		// A new one each time: who was asked more lately does not wait for probes.
-		s := start(t, configure(t, peer.Nowhere(t), list,
+		s := start(t, configure(t, scriptedpeer.Nowhere(t), list,
 			`"probes":false`, `"probes":true`, `"target":500000,"give-up":1000000`, `"target":1000000,"give-up":9000000`))
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
@@ -208,7 +208,7 @@
 		before := len(taken)
 		mu.Unlock()
 		io.WriteString(c, sent(t, look(9000)))
-		peer.Eventually(t, "it is taken", func() bool {
+		scriptedpeer.Eventually(t, "it is taken", func() bool {
 			_, _, _, calls := s.parts.endpoints.Counts()
 			mu.Lock()
 			defer mu.Unlock()
@@ -234,7 +234,7 @@
 func TestLeavesBehindAStreamedBody(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -243,7 +243,7 @@
 	if _, err := io.WriteString(nc, sent(t, request("POST", "/pay", "pay", 900, strings.Repeat("x", 70<<10)))); err != nil {
 		t.Fatal(err)
 	}
-	peer.Within(t, h.dialing, "dial")
+	scriptedpeer.Within(t, h.dialing, "dial")
 	nc.Close()
 	left := time.Now()
 	s.forgets(t, left)
@@ -260,7 +260,7 @@
 func TestLeaveInABurst(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	const many, out = 40, 4 // the others are turned away, or have not been looked at yet
 	var conns []net.Conn
 	for range many {
@@ -272,7 +272,7 @@
 		conns = append(conns, c)
 	}
 	for range out {
-		peer.Within(t, h.dialing, "dial")
+		scriptedpeer.Within(t, h.dialing, "dial")
 	}
 	for i, c := range conns {
 		if i%2 == 0 {
@@ -280,7 +280,7 @@
 		}
 		c.Close()
 	}
-	peer.Eventually(t, "all places are free", func() bool {
+	scriptedpeer.Eventually(t, "all places are free", func() bool {
 		_, inFlight, _, calls := s.parts.endpoints.Counts()
 		all, _ := s.parts.front.Conns()
 		return inFlight == 0 && calls == 0 && all == 0
@@ -299,18 +299,18 @@
 func TestLeftBeforeItIsRead(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
+	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	io.WriteString(c, sent(t, request("POST", "/pay", "pay", 900, "1")))
-	peer.Eventually(t, "the first is out", func() bool { return taken.Load() == 1 })
+	scriptedpeer.Eventually(t, "the first is out", func() bool { return taken.Load() == 1 })
 	for range 3 {
 		io.WriteString(c, sent(t, request("POST", "/pay", "pay", 900, "2")))
 	}
 	c.Close()
-	peer.Eventually(t, "nobody is served", func() bool { all, _ := s.parts.front.Conns(); return all == 0 })
+	scriptedpeer.Eventually(t, "nobody is served", func() bool { all, _ := s.parts.front.Conns(); return all == 0 })
 	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 50, "3")); resp.StatusCode == 200 {
 		t.Errorf("answered %s", resp.Status)
 	}
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -13,7 +13,7 @@
 
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/scripteddiscovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // witness is the reference of clients' connections: when each request reached the endpoint, when its client had left, and what
@@ -42,7 +42,7 @@
 	for i := range delays {
 		delays[i] = time.Duration(rng.IntN(30)) * time.Millisecond
 	}
-	addr := peer.Web(t, func(rw http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.Web(t, func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Trace-Id")
 		w.mu.Lock()
@@ -55,7 +55,7 @@
 		}
 		io.WriteString(rw, id)
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	one := func(rng *rand.Rand) {
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
@@ -92,7 +92,7 @@
 			w.mu.Unlock()
 			return
 		}
-		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		in := bufio.NewReader(c)
 		for i, id := range ids {
 			resp, err := http.ReadResponse(in, nil)
@@ -120,7 +120,7 @@
 		})
 	}
 	clients.Wait()
-	peer.Eventually(t, "nothing is left", func() bool {
+	scriptedpeer.Eventually(t, "nothing is left", func() bool {
 		_, inFlight, _, calls := s.parts.endpoints.Counts()
 		all, _ := s.parts.front.Conns()
 		return inFlight == 0 && calls == 0 && all == 0
@@ -132,7 +132,7 @@
 	}
 	s.stop()
 	last.Wait()
-	if err := peer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
 		w.say("ended with %v", err)
 	}
 	w.mu.Lock()
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -14,7 +14,7 @@
 
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/scripteddiscovery"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // gated is a listener whose Accept waits, once it is shut, until a deadline is set or it is closed: whoever connects until then
@@ -84,7 +84,7 @@
 // serveOn runs a sidecar with one endpoint on a listener of the test's own.
 func serveOn(t *testing.T, ln net.Listener, endpoint discovery.Instance) *running {
 	t.Helper()
-	s, err := assemble(configure(t, peer.Nowhere(t), []discovery.Instance{endpoint}), nil, peer.Quiet)
+	s, err := assemble(configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{endpoint}), nil, scriptedpeer.Quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 		close(r.ended)
 	}()
 	t.Cleanup(func() { stop(); <-r.ended })
-	peer.Eventually(t, "ready", func() bool {
+	scriptedpeer.Eventually(t, "ready", func() bool {
 		resp, err := http.Get("http://" + r.addr + "/-/ready")
 		if err != nil {
 			return false
@@ -108,7 +108,7 @@
 
 // What waits in the listener's queue as it is closed is served: the kernel has accepted it.
 func TestStopServesTheQueue(t *testing.T) {
-	addr := peer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	ln := &gated{TCPListener: loopback(t)}
 	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
 	s.ask(t, look(900)) // it learns how fast the endpoint is
@@ -130,13 +130,13 @@
 	}
 	s.stop()
 	for i, c := range conns {
-		c.SetReadDeadline(time.Now().Add(peer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 || !resp.Close { // more than one at once may be turned away
 			t.Errorf("connection %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := peer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -145,22 +145,22 @@
 // closes. The one before does not, and is not taken away by a reset.
 func TestStopBetweenPipelinedRequests(t *testing.T) {
 	taken, release := make(chan struct{}, 4), make(chan struct{})
-	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		taken <- struct{}{}
 		<-release
 		io.WriteString(w, "ok")
 	})
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	io.WriteString(c, sent(t, look(900)))
-	peer.Within(t, taken, "first attempt")
+	scriptedpeer.Within(t, taken, "first attempt")
 	io.WriteString(c, sent(t, look(900))+sent(t, look(900)))
 	s.stop()
-	peer.Eventually(t, "all are to close", func() bool {
+	scriptedpeer.Eventually(t, "all are to close", func() bool {
 		resp, err := http.Get("http://" + s.addr + "/-/ready")
 		if err != nil {
 			return false
@@ -169,7 +169,7 @@
 		return resp.StatusCode == 503
 	})
 	close(release)
-	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	r := bufio.NewReader(c)
 	for i := range 3 {
 		resp, err := http.ReadResponse(r, nil)
@@ -184,7 +184,7 @@
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Errorf("behind the last: %v", err)
 	}
-	if err := peer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -194,7 +194,7 @@
 func TestStopEndsInTime(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, peer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -202,12 +202,12 @@
 	defer c.Close()
 	text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
 	io.WriteString(c, text[:len(text)-1])
-	peer.Eventually(t, "it has begun", func() bool { all, _ := s.parts.front.Conns(); return all > 0 })
+	scriptedpeer.Eventually(t, "it has begun", func() bool { all, _ := s.parts.front.Conns(); return all > 0 })
 	begun := time.Now()
 	s.stop()
 	late := time.AfterFunc(900*time.Millisecond, func() { io.WriteString(c, text[len(text)-1:]) }) // its time would end at 1.9 s
 	defer late.Stop()
-	c.SetReadDeadline(time.Now().Add(peer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
@@ -216,7 +216,7 @@
 	if took := time.Since(begun); took > killed || taken.Load() != 1 || resp.StatusCode != 504 {
 		t.Errorf("%s after %v, with %d attempts", resp.Status, took, taken.Load())
 	}
-	if err := peer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	if took := time.Since(begun); took > killed {
@@ -259,7 +259,7 @@
 // A request of which a part has come as the order to stop does is waited for, head or body: its client has not seen the connection
 // rest, and would not send it again. One that never comes whole is given up when nothing of it could be answered in time.
 func TestStopWaitsForHalfARequest(t *testing.T) {
-	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "ok")
 	})
@@ -283,12 +283,12 @@
 		text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
 		io.WriteString(c, text[:len(text)-missing])
 		halves = append(halves, half{c, text[len(text)-missing:]})
-		ours := peer.Within(t, ln.accepted, "connection")
-		peer.Eventually(t, "it is read: the kernel holds nothing by which it could be known", func() bool { return !unread(t, ours) })
+		ours := scriptedpeer.Within(t, ln.accepted, "connection")
+		scriptedpeer.Eventually(t, "it is read: the kernel holds nothing by which it could be known", func() bool { return !unread(t, ours) })
 	}
 	begun := time.Now()
 	s.stop()
-	peer.Eventually(t, "the listener is closed", func() bool {
+	scriptedpeer.Eventually(t, "the listener is closed", func() bool {
 		c, err := net.Dial("tcp", s.addr)
 		if err == nil {
 			c.Close()
@@ -297,13 +297,13 @@
 	})
 	for i, h := range halves[:2] {
 		io.WriteString(h.c, h.rest)
-		h.c.SetReadDeadline(time.Now().Add(peer.Soon))
+		h.c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		resp, err := http.ReadResponse(bufio.NewReader(h.c), nil)
 		if err != nil || resp.StatusCode != 200 || !resp.Close {
 			t.Errorf("request %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := peer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
--- a/internal/upstream/life_test.go
+++ b/internal/upstream/life_test.go
@@ -14,7 +14,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // ledger is the reference: what an endpoint took and what clients were served, by the requests' ids.
@@ -56,9 +56,9 @@
 // other way round, a connection that nobody has.
 func live(t *testing.T, seed uint64, settle time.Duration) []string {
 	l := &ledger{taken: map[string]int{}}
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := peer.Take(r)
+			req, err := scriptedpeer.Take(r)
 			if err != nil {
 				return
 			}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -18,8 +18,8 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/siteconfig"
-	"dunlinsail/internal/standin/peer"
 )
 
 // A figure that is missing or makes no sense must not read as an idle endpoint.
@@ -42,7 +42,7 @@
 
 // newPool returns a pool with edits to its usual options.
 func newPool(edits ...func(*Options)) *Pool {
-	o := Options{Clock: clock.New(), Log: peer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, Most: 504,
+	o := Options{Clock: clock.New(), Log: scriptedpeer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, Most: 504,
 		Fields: []string{"busy_reqs", "served_ps", "cpu_share"}}
 	for _, edit := range edits {
 		edit(&o)
@@ -54,7 +54,7 @@
 
 // try makes one attempt with a second of time.
 func (u *Pool) try(m *Message, to core.Target) engine.Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), peer.Soon)
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
 	return u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }}, m)
 }
@@ -77,9 +77,9 @@
 		t.Run(name, func(t *testing.T) {
 			var taken atomic.Int32
 			u := newPool()
-			to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				for i := 0; i < 2; i++ {
-					if _, err := peer.Take(r); err != nil {
+					if _, err := scriptedpeer.Take(r); err != nil {
 						return
 					}
 					if taken.Add(1); i == 0 {
@@ -117,8 +117,8 @@
 
 // Whether a request may have run turns on its last byte.
 func TestLastByteDecides(t *testing.T) {
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		peer.Take(r)
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.Take(r)
 		c.SetLinger(0) // breaks with a reset
 	})
 	m := keyed(strings.Repeat("x", 1000))
@@ -146,7 +146,7 @@
 		})
 	}
 	u := newPool()
-	if r := u.try(m, u.at(peer.Nowhere(t))); r.Status != balancer.ConnectFailed {
+	if r := u.try(m, u.at(scriptedpeer.Nowhere(t))); r.Status != balancer.ConnectFailed {
 		t.Errorf("refused connection: status %v, want ConnectFailed", r.Status)
 	}
 }
@@ -187,8 +187,8 @@
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				peer.Take(r)
+			addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				scriptedpeer.Take(r)
 				io.WriteString(c, tc.answer)
 			})
 			u := newPool()
@@ -212,8 +212,8 @@
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
-		addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-			peer.Take(r)
+		addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			scriptedpeer.Take(r)
 			io.WriteString(c, answer)
 			r.ReadByte()
 		})
@@ -229,8 +229,8 @@
 
 // An answer may come long after a 1xx.
 func TestSlowAfterInterim(t *testing.T) {
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		peer.Take(r)
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.Take(r)
 		io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n")
 		time.Sleep(2 * stallMost) // the work, not a wait for another
 		io.WriteString(c, okAnswer)
@@ -243,9 +243,9 @@
 
 // A good answer with more behind it is good, and what is behind it answers nothing.
 func TestMoreBehindAnswer(t *testing.T) {
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := peer.Take(r)
+			req, err := scriptedpeer.Take(r)
 			if err != nil {
 				return
 			}
@@ -303,7 +303,7 @@
 // Our own shortage is no fault of the endpoint's.
 func TestShortageIsNoFault(t *testing.T) {
 	u := newPool()
-	to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
+	to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
 	u.o.Most = 0
 	if r := u.try(plainGet(), to); r.Status != balancer.Moot {
 		t.Errorf("all connections in use: status %v, want Moot", r.Status)
@@ -332,8 +332,8 @@
 // whether it ran would not be known.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		peer.Take(r)
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.Take(r)
 		io.WriteString(c, okAnswer)
 		c.Close()
 		closed <- struct{}{}
@@ -344,16 +344,16 @@
 		if r := u.try(plainGet(), to); r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		peer.Within(t, closed, "close")
+		scriptedpeer.Within(t, closed, "close")
 	}
 }
 
 // answering is an endpoint that answers all that comes, and counts its connections.
 func answering(t *testing.T, dials *atomic.Int32) string {
-	return peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := peer.Take(r); err != nil {
+			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
@@ -430,7 +430,7 @@
 
 // The connection used last is used next, so that those not needed grow old and are closed.
 func TestLatestConnectionFirst(t *testing.T) {
-	addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
+	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
 	u := newPool()
 	to := u.at(addr)
 	first, second := u.taken(t, to), u.taken(t, to)
@@ -444,8 +444,8 @@
 // Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
 func TestConnectionsAreBounded(t *testing.T) {
 	u := newPool()
-	one := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
-	two := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) }))
+	one := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	two := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
 	u.o.Most = 2
 	ctx := context.Background()
 	a, err := u.Get(ctx, one)
@@ -467,7 +467,7 @@
 	}
 	// One that is refused gives its place back.
 	u.o.Most = 3
-	u.Get(ctx, u.at(peer.Nowhere(t)))
+	u.Get(ctx, u.at(scriptedpeer.Nowhere(t)))
 	if u.conns != 2 {
 		t.Errorf("%d connections counted after one refused, want 2", u.conns)
 	}
@@ -475,7 +475,7 @@
 
 // A probe asks for the load where there are reports, for the health elsewhere, and waits only so long.
 func TestProbe(t *testing.T) {
-	addr := peer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/-/load":
 			io.WriteString(w, "TEXT cpu_share=0.61, busy_reqs=7, served_ps=2")
@@ -493,15 +493,15 @@
 		t.Errorf("probe without reports: status %v, load %v", r.Status, r.Load)
 	}
 	ended := make(chan error, 1)
-	mute := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		peer.Take(r)
+	mute := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.Take(r)
 		_, err := r.ReadByte()
 		ended <- err
 	})
 	if r := newPool().at(mute).Probe(); r.Status == balancer.OK {
 		t.Error("a probe that nobody answered is ok")
 	}
-	if err := peer.Within(t, ended, "end of a mute probe"); err == nil {
+	if err := scriptedpeer.Within(t, ended, "end of a mute probe"); err == nil {
 		t.Error("more was written to a mute probe")
 	}
 }
@@ -513,7 +513,7 @@
 	ctx := context.Background()
 	var conns []*Conn
 	for range 5 {
-		addr := peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { peer.Take(r) })
+		addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
 		c, err := u.Get(ctx, u.at(addr))
 		if err != nil {
 			t.Fatal(err)
@@ -572,10 +572,10 @@
 			const settle = 300 * time.Millisecond // long beside a pause of the machine
 			u := newPool(func(o *Options) { o.Settle = settle })
 			var conns atomic.Int32
-			to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				mine := conns.Add(1)
 				for first := true; ; first = false {
-					if _, err := peer.Take(r); err != nil {
+					if _, err := scriptedpeer.Take(r); err != nil {
 						return
 					}
 					io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", mine))
@@ -618,9 +618,9 @@
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
 	})
-	to := u.at(peer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			if _, err := peer.Take(r); err != nil {
+			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
--- a/internal/xdsclient/control_test.go
+++ b/internal/xdsclient/control_test.go
@@ -27,8 +27,8 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
-	"dunlinsail/internal/standin/peer"
 	"dunlinsail/internal/stricttoml"
 	"dunlinsail/internal/xdsclient"
 )
@@ -55,7 +55,7 @@
 func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
 	t.Helper()
 	f := &following{}
-	client, err := xdsclient.New(xdsclient.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: peer.Quiet, Offer: func(u xdsclient.Update) {
+	client, err := xdsclient.New(xdsclient.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: scriptedpeer.Quiet, Offer: func(u xdsclient.Update) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.got = append(f.got, u)
@@ -98,7 +98,7 @@
 		t.Fatal(err)
 	}
 	f := follow(t, settings(s.Addr), &rollout.ID{Epoch: "e", Number: 6})
-	peer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
+	scriptedpeer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
 	u := f.updates()[0]
 	if u.Wrong != "" || u.Version.ID != (rollout.ID{Source: rollout.Service, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
 		u.Resources[0].Name != "look" || u.Resources[0].Fields["worth"] != 2.0 || u.Resources[0].Fields["name"] != nil || u.Version.Digest != config.Digest(u.Resources) {
@@ -107,7 +107,7 @@
 	f.Ack(u.Version.ID, false)
 	f.Ack(u.Version.ID, true)
 	f.Nack(u.Version.ID, "it did harm", &rollout.ID{Epoch: "e", Number: 6})
-	peer.Eventually(t, "the answers", func() bool { return len(s.Words()) == 4 })
+	scriptedpeer.Eventually(t, "the answers", func() bool { return len(s.Words()) == 4 })
 	w := s.Words()
 	if w[0].Running != "e/6" || w[0].Node != "i-1" || w[0].Nonce != "" {
 		t.Errorf("first %+v", w[0])
@@ -123,7 +123,7 @@
 func TestWhatMakesNoSense(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
-	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
 	sound, err := xdsserver.Response("1", []config.Resource{class("look", 1)}, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -145,7 +145,7 @@
 	}
 	for want, r := range unread {
 		s.Send(r)
-		peer.Eventually(t, want, func() bool {
+		scriptedpeer.Eventually(t, want, func() bool {
 			for _, w := range s.Words() {
 				if strings.Contains(w.Refused, want) {
 					return true
@@ -172,13 +172,13 @@
 	for want, r := range wrong {
 		s.Send(r)
 		n++
-		peer.Eventually(t, want, func() bool { return len(f.updates()) == n })
+		scriptedpeer.Eventually(t, want, func() bool { return len(f.updates()) == n })
 		if u := f.updates()[n-1]; !strings.Contains(u.Wrong, want) || u.Resources != nil || u.Version.Digest == "" {
 			t.Errorf("%s: %+v", want, u)
 		}
 	}
 	s.Send(sound)
-	peer.Eventually(t, "a sound one", func() bool { u := f.updates(); return len(u) == n+1 && u[n].Wrong == "" })
+	scriptedpeer.Eventually(t, "a sound one", func() bool { u := f.updates(); return len(u) == n+1 && u[n].Wrong == "" })
 	if s.Opened() != 1 {
 		t.Errorf("%d streams", s.Opened())
 	}
@@ -195,14 +195,14 @@
 		t.Fatal(err)
 	}
 	f := follow(t, settings(s.Addr), nil)
-	peer.Eventually(t, "asked again", func() bool { return s.Opened() >= 3 })
+	scriptedpeer.Eventually(t, "asked again", func() bool { return s.Opened() >= 3 })
 	if len(f.updates()) > 0 {
 		t.Error("it was taken")
 	}
 	if err := s.Set("2", many[:5], nil); err != nil {
 		t.Fatal(err)
 	}
-	peer.Eventually(t, "the next", func() bool { return len(f.updates()) > 0 })
+	scriptedpeer.Eventually(t, "the next", func() bool { return len(f.updates()) > 0 })
 }
 
 // A service that vanishes, at whatever byte of what it sends, is asked again; what arrives is whole, and begins with what
@@ -210,7 +210,7 @@
 func TestVanishes(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
-	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
 	all := []config.Resource{class("look", 1), class("book", 2)}
 	for n, cut := range []int64{0, 1, 9, 10, 40, 100, 200, 300} {
 		s.CutAfter(cut)
@@ -218,9 +218,9 @@
 		if err := s.Set(info, all, nil); err != nil {
 			t.Fatal(err)
 		}
-		peer.Eventually(t, "the cut", func() bool { return s.Streams() == 0 || f.has(n+1) })
+		scriptedpeer.Eventually(t, "the cut", func() bool { return s.Streams() == 0 || f.has(n+1) })
 		s.CutAfter(-1)
-		peer.Eventually(t, "version "+info, func() bool { return f.has(n + 1) })
+		scriptedpeer.Eventually(t, "version "+info, func() bool { return f.has(n + 1) })
 		f.Ack(rollout.ID{Number: uint64(n + 1)}, true)
 	}
 	for _, u := range f.updates() {
@@ -231,7 +231,7 @@
 	// In the midst of an answer: what runs is said at the beginning of the next stream.
 	s.Drop()
 	f.Ack(rollout.ID{Number: 8}, true)
-	peer.Eventually(t, "what runs", func() bool { w := s.Words(); return w[len(w)-1].Running == "8" && w[len(w)-1].Nonce == "" })
+	scriptedpeer.Eventually(t, "what runs", func() bool { w := s.Words(); return w[len(w)-1].Running == "8" && w[len(w)-1].Nonce == "" })
 	// For long.
 	addr := s.Addr
 	s.Close()
@@ -240,7 +240,7 @@
 	if err := again.Set("9", all, nil); err != nil {
 		t.Fatal(err)
 	}
-	peer.Eventually(t, "the service's return", func() bool { return f.has(9) })
+	scriptedpeer.Eventually(t, "the service's return", func() bool { return f.has(9) })
 	if w := again.Words()[0]; w.Running != "" {
 		t.Errorf("after the nack it says to run %q", w.Running)
 	}
@@ -265,7 +265,7 @@
 func TestNeverStops(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
 	f := follow(t, settings(s.Addr), nil)
-	peer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
 	for n := range 1000 {
 		r, err := xdsserver.Response(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
 		if err != nil {
@@ -273,7 +273,7 @@
 		}
 		s.Send(r)
 	}
-	peer.Eventually(t, "some", func() bool { return len(f.updates()) >= 10 })
+	scriptedpeer.Eventually(t, "some", func() bool { return len(f.updates()) >= 10 })
 	if n := len(f.updates()); n > 30 {
 		t.Errorf("%d of 1000 were read at once", n)
 	}
@@ -376,7 +376,7 @@
 			}
 		}()
 	}
-	peer.Eventually(t, "the version", func() bool { return good.has(1) })
+	scriptedpeer.Eventually(t, "the version", func() bool { return good.has(1) })
 	bad := with(ours, ours, "")
 	bad.CA = bad.Key
 	if _, err := xdsclient.New(xdsclient.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
--- a/internal/xdsclient/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dunlinsail/internal/decide/rollout"
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 )
 
 // recordingServer is an ADS server that sends prepared responses and keeps the requests as they came.
@@ -101,13 +101,13 @@
 	server, address := startRecordingServer(t)
 	client := follow(t, settings(address), &rollout.ID{Epoch: "e", Number: 6})
 	var requests []*discovery.DiscoveryRequest
-	receive := func(what string) { requests = append(requests, peer.Within(t, server.requests, what)) }
+	receive := func(what string) { requests = append(requests, scriptedpeer.Within(t, server.requests, what)) }
 	receive("the first request")
 
 	response := &discovery.DiscoveryResponse{}
 	decodeHex(t, string(readGolden(t, "response.hex")), response)
 	server.responses <- response
-	peer.Eventually(t, "the update", func() bool { return len(client.updates()) == 1 })
+	scriptedpeer.Eventually(t, "the update", func() bool { return len(client.updates()) == 1 })
 	update := client.updates()[0]
 	if update.Wrong != "" {
 		t.Fatal(update.Wrong)
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"dunlinsail/internal/standin/peer"
+	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/xdsclient"
 )
 
@@ -46,22 +46,22 @@
 	}
 	set(1)
 	f := follow(t, settings(ln.Addr().String()), nil)
-	peer.Eventually(t, "a version", func() bool { return len(f.updates()) == 1 })
+	scriptedpeer.Eventually(t, "a version", func() bool { return len(f.updates()) == 1 })
 	one := f.updates()[0]
 	if one.Wrong != "" || one.Version.Epoch != "plane" || one.Resources[0].ID() != "class/look" {
 		t.Fatalf("%+v", one)
 	}
 	f.Ack(one.Version.ID, true)
 	set(2)
-	peer.Eventually(t, "the next", func() bool { return len(f.updates()) == 2 })
+	scriptedpeer.Eventually(t, "the next", func() bool { return len(f.updates()) == 2 })
 	two := f.updates()[1]
 	if two.Version.Number != one.Version.Number+1 || two.Resources[0].Fields["worth"] != 2.0 {
 		t.Errorf("%+v", two)
 	}
 	f.Nack(two.Version.ID, "not today", &one.Version.ID)
-	if got := peer.Within(t, refused, "the refusal"); got != xdsclient.VersionInfo(one.Version.ID)+": not today" {
+	if got := scriptedpeer.Within(t, refused, "the refusal"); got != xdsclient.VersionInfo(one.Version.ID)+": not today" {
 		t.Errorf("it heard %q", got)
 	}
 	set(3)
-	peer.Eventually(t, "the one after a refused one", func() bool { return len(f.updates()) == 3 })
+	scriptedpeer.Eventually(t, "the one after a refused one", func() bool { return len(f.updates()) == 3 })
 }
