Rename package standin/port to fake/freeport

Need: the package's name was a word of the earlier house style. Measured: go build ./... and go vet ./... pass.

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -23,8 +23,8 @@
 
 	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/port"
 	"dunlinsail/internal/takeover"
 )
 
@@ -103,7 +103,7 @@
 
 func (h *host) startAs(program string) *process {
 	h.t.Helper()
-	desk, err := port.Free()
+	desk, err := freeport.Free()
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,9 +19,9 @@
 
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // process is a program under test.
@@ -99,7 +99,7 @@
 		return map[string]any{"name": name, "repeat": repeat, "group": "cell", "window": 400 * ms, "target": 250 * ms,
 			"give-up": 500 * ms, "credit": 1}
 	}
-	nowhere, err := port.Free() // discovery is down: the list is the one known
+	nowhere, err := freeport.Free() // discovery is down: the list is the one known
 	if err != nil {
 		return "", err
 	}
@@ -211,7 +211,7 @@
 
 // daemon starts the daemon over the site.
 func (s *site) daemon(ctx context.Context, bin string, cores int, edits ...string) (*process, error) {
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		return nil, err
 	}
@@ -224,7 +224,7 @@
 
 // proxy starts ReverseProxy over the site.
 func (s *site) proxy(ctx context.Context, cores int) (*process, error) {
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/fast.go
+++ b/internal/bench/fast.go
@@ -7,9 +7,9 @@
 	"os"
 	"time"
 
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // Fast asks endpoints that answer in a fraction of a millisecond, through the sidecar and through
@@ -25,7 +25,7 @@
 		return err
 	}
 	defer stop()
-	sidecar, err := port.Free()
+	sidecar, err := freeport.Free()
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	if err := run("dunlinsail", sidecar, []string{"ROUTER_CONFIG=" + config}, bin+"/dunlinsail"); err != nil {
 		return err
 	}
-	proxy, err := port.Free()
+	proxy, err := freeport.Free()
 	if err != nil {
 		return err
 	}
--- a/internal/bench/pools.go
+++ b/internal/bench/pools.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // Pools measures what one pool has of another whose endpoints all fail, and how many attempts arrive there in any second
@@ -47,7 +47,7 @@
 		}
 	}
 	serve := func(budget float64) (*process, error) {
-		addr, err := port.Free()
+		addr, err := freeport.Free()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"dunlinsail/internal/differential"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/fake/webapp"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // routedConfig writes a daemon's file with one route to one pool, and lines of more for its tables.
@@ -28,7 +28,7 @@
 
 // startRouted starts the daemon with one route.
 func startRouted(ctx context.Context, bin, dir string, addrs []string, cores int, process, route string) (*process, error) {
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/standin/client"
 	"dunlinsail/internal/standin/endpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // operatorGap is from one call of the operators' to the next: twice as often as the figures are read in service.
@@ -39,7 +39,7 @@
 	fmt.Fprintf(w, "%d idle endpoints, %.0f requests a second, %d rounds of %v each\n", len(addrs), rate, rounds, each)
 	for round := range rounds {
 		for i, way := range ways {
-			addr, err := port.Free()
+			addr, err := freeport.Free()
 			if err != nil {
 				return err
 			}
@@ -53,7 +53,7 @@
 			calls <- nil
 			var desk string
 			if way.desk != "" {
-				if desk, err = port.Free(); err != nil {
+				if desk, err = freeport.Free(); err != nil {
 					end()
 					return err
 				}
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -30,13 +30,13 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/scenario"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/simulation/simendpoint"
 	"dunlinsail/internal/siteconfig"
-	"dunlinsail/internal/standin/port"
 )
 
 // Micros is an instant or a duration in microseconds; a run begins at 0.
@@ -378,7 +378,7 @@
 		listeners = 1 // it is one application's
 	}
 	for range listeners {
-		addr, err := port.Free()
+		addr, err := freeport.Free()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/node.go
@@ -15,10 +15,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/scenario"
 	"dunlinsail/internal/simulation/simendpoint"
-	"dunlinsail/internal/standin/port"
 )
 
 // endpoint is an endpoint of a plan behind sockets: one listener for each instance, since the way from each is its own.
@@ -76,7 +76,7 @@
 	for _, f := range e.fronts {
 		if f.addr == "" {
 			var err error
-			if f.addr, err = port.Free(); err != nil { // it listens there again after each fall
+			if f.addr, err = freeport.Free(); err != nil { // it listens there again after each fall
 				return err
 			}
 		}
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -23,9 +23,9 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/peers"
 	"dunlinsail/internal/simulation"
-	"dunlinsail/internal/standin/port"
 )
 
 // This file has the daemons know of one another: an address for each, a relay on each way between two of them where something
@@ -46,7 +46,7 @@
 }
 
 func (r *run) newRelay(from, to int) (*relay, error) {
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +179,7 @@
 		return nil
 	}
 	for range r.plan.Instances {
-		addr, err := port.Free()
+		addr, err := freeport.Free()
 		if err != nil {
 			return err
 		}
@@ -268,7 +268,7 @@
 	if t == nil {
 		return nil, errors.New("a liar needs instances that know of one another")
 	}
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/processes/work.go
+++ b/internal/experiment/processes/work.go
@@ -12,9 +12,9 @@
 	"dunlinsail/internal/admin"
 	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
+	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/simulation"
 	"dunlinsail/internal/simulation/scenario"
-	"dunlinsail/internal/standin/port"
 )
 
 // This file is the operator who has machines taken out for work, at whichever instance answers: it asks for all of them at once, works for
@@ -48,7 +48,7 @@
 	}
 	if in.calls == "" {
 		var err error
-		if in.calls, err = port.Free(); err != nil {
+		if in.calls, err = freeport.Free(); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/port/port.go
+++ b/internal/fake/freeport/port.go
@@ -1,6 +1,6 @@
-// Package port finds addresses of loopback for what is to listen there later, or again: an address that the kernel gives for
+// Package freeport finds addresses of loopback for what is to listen there later, or again: an address that the kernel gives for
 // the asking is from the range of which it also takes those of outgoing connections, and may be taken by one in between.
-package port
+package freeport
 
 import (
 	"errors"
--- a/internal/fake/scriptedpeer/peer.go
+++ b/internal/fake/scriptedpeer/peer.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/standin/port"
+	"dunlinsail/internal/fake/freeport"
 )
 
 // Soon bounds every wait for something that must come.
@@ -24,7 +24,7 @@
 // Nowhere returns an address that refuses connections.
 func Nowhere(t testing.TB) string {
 	t.Helper()
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/standin/port"
+	"dunlinsail/internal/fake/freeport"
 )
 
 type heard struct {
@@ -22,7 +22,7 @@
 // start starts an instance at an address of its own, with what it hears.
 func start(t *testing.T, name, of string, join ...string) (*Peers, string, chan heard) {
 	t.Helper()
-	addr, err := port.Free()
+	addr, err := freeport.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
