--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -16,11 +16,11 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // programs are what the first and third, and what the second process of a hot restart run: this build's program, unless
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // TestMain runs the program itself where a test, or the program under test, has started this binary for that.
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -11,9 +11,9 @@
 
 	"dunlinsail/internal/daemon"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // one is a daemon's process.
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,10 +18,10 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/freeport"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // process is a program under test.
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -6,8 +6,8 @@
 	"io"
 	"time"
 
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Cost measures what a request costs the daemon and ReverseProxy: processor time at a steady rate, and how many a
--- a/internal/bench/fast.go
+++ b/internal/bench/fast.go
@@ -7,9 +7,9 @@
 	"os"
 	"time"
 
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/freeport"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // Fast asks endpoints that answer in a fraction of a millisecond, through the sidecar and through
--- a/internal/bench/handover.go
+++ b/internal/bench/handover.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Handover measures the longest gap between two answers while one process takes over from another, beside the
--- a/internal/bench/idle.go
+++ b/internal/bench/idle.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Idle measures the memory of connections at rest, each of which has asked once, in the daemon and in ReverseProxy.
--- a/internal/bench/neighbour.go
+++ b/internal/bench/neighbour.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Neighbour measures what a modest client has of one beside it that asks twenty times as much, more than all
--- a/internal/bench/pools.go
+++ b/internal/bench/pools.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/freeport"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // Pools measures what one pool has of another whose endpoints all fail, and how many attempts arrive there in any second
--- a/internal/bench/quiet.go
+++ b/internal/bench/quiet.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"dunlinsail/internal/bench/quietfleet"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Quiet measures what fleets of many instances with little traffic each cost the nodes, by size, with subsets and budgets
--- a/internal/bench/quietfleet/quietfleet_test.go
+++ b/internal/bench/quietfleet/quietfleet_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // A short form of the measurement: with budgets, ten times the instances probe the nodes no more and are served as well;
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"dunlinsail/internal/differential"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/freeport"
 	"dunlinsail/internal/fake/webapp"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // routedConfig writes a daemon's file with one route to one pool, and lines of more for its tables.
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/freeport"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // operatorGap is from one call of the operators' to the next: twice as often as the figures are read in service.
--- a/internal/bench/versions.go
+++ b/internal/bench/versions.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"dunlinsail/internal/config"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/xdsserver"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // Versions measures how long a version takes from the service to being applied, what it costs on the request path beside the
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // Clients on TCP and on a unix socket are served by one instance, each counted as who it is.
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // A daemon that is killed with bookings and unsafe requests in flight loses their answers and nothing else: the next
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // victims are client processes that are killed while an endpoint holds a request of theirs.
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // What cannot be changed while serving is changed all the same, under load: nothing is lost, connections go on, a request
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -28,12 +28,12 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"dunlinsail/internal/accesslog"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // recording edits a file so that a record is kept, and returns its folder.
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 	"dunlinsail/internal/takeover"
 )
 
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -14,10 +14,10 @@
 
 	"dunlinsail/internal/config"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
 )
 
 // managed returns the edits of a world's file that have versions come from a service; more are edits of its table control.
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -22,9 +22,9 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/discoveryserver"
-	"dunlinsail/internal/standin/client"
-	"dunlinsail/internal/standin/endpoint"
+	"dunlinsail/internal/fake/endpoint"
 )
 
 // Options say what to show.
