--- a/internal/decide/quota/holder.go
+++ b/internal/decide/quota/holder.go
@@ -6,14 +6,15 @@
 	"strings"
 
 	"dunlinsail/internal/decide/lease"
+	"dunlinsail/internal/monotime"
 )
 
 // Holder spends what an instance may. Make one with NewHolder; it spends nothing before Begin or Restore.
 type Holder struct {
 	s     Settings
 	life  uint64
-	born  Micros // what another process of this name spent before it was is over a second later
-	begun bool   // it may spend: no other process has its place
+	born  monotime.Micros // what another process of this name spent before it was is over a second later
+	begun bool            // it may spend: no other process has its place
 	pots  map[string]*pot
 
 	number uint64
@@ -21,8 +22,8 @@
 	term   lease.Term     // of the book, as told last
 	of     uint64         // the loan in force
 	ofTerm lease.Term
-	until  Micros // it ends
-	heard  Micros // when the latest answer came
+	until  monotime.Micros // it ends
+	heard  monotime.Micros // when the latest answer came
 }
 
 // asksKept is how many questions may be unanswered before the oldest is forgotten.
@@ -30,14 +31,14 @@
 
 type sent struct {
 	number uint64
-	at     Micros
+	at     monotime.Micros
 }
 
 // pot is what is known of one budget.
 type pot struct {
 	least  int
 	lent   int
-	spent  []Micros // instants of units within the last second, the oldest first
+	spent  []monotime.Micros // instants of units within the last second, the oldest first
 	asked  counter
 	used   counter
 	earned float64
@@ -53,7 +54,7 @@
 
 // Begin has it begin, without a loan, as a process that no other is beside. Nobody knows what a process of its name that was
 // killed has spent a moment ago: for a second there is nothing.
-func (h *Holder) Begin(now Micros, life uint64) {
+func (h *Holder) Begin(now monotime.Micros, life uint64) {
 	h.begun, h.life, h.born, h.of, h.until = true, life, now, 0, 0
 	h.asked = [asksKept]sent{}
 }
@@ -82,7 +83,7 @@
 }
 
 // Allowed returns how many units may be spent within the second that ends now.
-func (h *Holder) Allowed(now Micros, name string) int {
+func (h *Holder) Allowed(now monotime.Micros, name string) int {
 	p := h.pots[name]
 	if p == nil || !h.begun {
 		return 0
@@ -98,7 +99,7 @@
 }
 
 // Left returns how many units may be spent at once.
-func (h *Holder) Left(now Micros, name string) int {
+func (h *Holder) Left(now monotime.Micros, name string) int {
 	p := h.pots[name]
 	if p == nil {
 		return 0
@@ -108,7 +109,7 @@
 }
 
 // slide forgets what was spent so long ago.
-func (p *pot) slide(since Micros) {
+func (p *pot) slide(since monotime.Micros) {
 	n := 0
 	for n < len(p.spent) && p.spent[n] <= since {
 		n++
@@ -119,14 +120,14 @@
 }
 
 // Want notes that a unit is asked for, whether or not there is one.
-func (h *Holder) Want(now Micros, name string) {
+func (h *Holder) Want(now monotime.Micros, name string) {
 	if p := h.pots[name]; p != nil {
 		p.asked.add(now)
 	}
 }
 
 // Take spends a unit, and says whether there was one.
-func (h *Holder) Take(now Micros, name string) bool {
+func (h *Holder) Take(now monotime.Micros, name string) bool {
 	if h.Left(now, name) == 0 {
 		return false
 	}
@@ -137,7 +138,7 @@
 }
 
 // Loan returns the loan in force: until when it is, who lent it and its serial; no if there is none.
-func (h *Holder) Loan(now Micros) (until Micros, by lease.Term, serial uint64, yes bool) {
+func (h *Holder) Loan(now monotime.Micros) (until monotime.Micros, by lease.Term, serial uint64, yes bool) {
 	if !h.begun || h.of == 0 || now >= h.until {
 		return 0, lease.Term{}, 0, false
 	}
@@ -145,10 +146,10 @@
 }
 
 // Book returns the term of the book as told last, and when it was heard from.
-func (h *Holder) Book() (lease.Term, Micros) { return h.term, h.heard }
+func (h *Holder) Book() (lease.Term, monotime.Micros) { return h.term, h.heard }
 
 // Ask returns a question that goes out now.
-func (h *Holder) Ask(now Micros) Ask {
+func (h *Holder) Ask(now monotime.Micros) Ask {
 	h.number++
 	h.asked[h.number%asksKept] = sent{h.number, now}
 	a := Ask{Life: h.life, Number: h.number, Term: h.term}
@@ -168,7 +169,7 @@
 
 // Hear takes an answer in. It says whether a question should go out at once: the book is another than was asked, or has to
 // know that less is in force now.
-func (h *Holder) Hear(now Micros, g Grant) (again bool) {
+func (h *Holder) Hear(now monotime.Micros, g Grant) (again bool) {
 	q := h.asked[g.Number%asksKept]
 	if g.Life != h.life || !h.begun || q.number != g.Number || g.Number == 0 {
 		return false
@@ -204,15 +205,15 @@
 // counter counts what came within the last second, by tenths, and over some seconds.
 type counter struct {
 	parts [10]int
-	head  Micros
+	head  monotime.Micros
 	slow  float64 // what came, each counting less the longer it is ago
-	at    Micros
+	at    monotime.Micros
 }
 
 // slowly is over how long the slow mean goes.
 const slowly = 2 * second
 
-func (c *counter) slide(now Micros) {
+func (c *counter) slide(now monotime.Micros) {
 	part := now / (second / 10)
 	if part-c.head >= 10 {
 		clear(c.parts[:])
@@ -224,21 +225,21 @@
 	}
 }
 
-func (c *counter) add(now Micros) {
+func (c *counter) add(now monotime.Micros) {
 	c.slide(now)
 	c.parts[c.head%10]++
 	c.decay(now)
 	c.slow++
 }
 
-func (c *counter) decay(now Micros) {
+func (c *counter) decay(now monotime.Micros) {
 	c.slow *= math.Exp(-float64(now-c.at) / float64(slowly))
 	c.at = now
 }
 
 // wanted is how many units a second are worth having: the mean of some seconds and what chance adds to that, since a second in which
 // fewer are asked for says nothing of the next; or the rate of late, where that is beyond chance.
-func (c *counter) wanted(now Micros) float64 {
+func (c *counter) wanted(now monotime.Micros) float64 {
 	c.decay(now)
 	mean := c.slow * float64(second) / float64(slowly)
 	fast := c.rate(now)
@@ -258,7 +259,7 @@
 
 // latest is what came within so many of the latest tenths of a second, the present one included.
 func (c *counter) latest(tenths int) (all int) {
-	for i := range Micros(tenths) {
+	for i := range monotime.Micros(tenths) {
 		all += c.parts[(c.head-i+10)%10]
 	}
 	return all
@@ -266,7 +267,7 @@
 
 // rate is what comes a second: by the last second, or by the last third of it where that had more, since what rises is wanted
 // before a second is over.
-func (c *counter) rate(now Micros) float64 {
+func (c *counter) rate(now monotime.Micros) float64 {
 	c.slide(now)
 	part := float64(now%(second/10)) / float64(second/10) // of the present tenth that is over
 	return math.Max(float64(c.latest(10)), float64(c.latest(3))/(0.2+0.1*part))
@@ -276,25 +277,25 @@
 
 // State is what a process that takes another's place has to know, with ages in place of instants.
 type State struct {
-	Life   uint64     `json:"Life"`
-	Number uint64     `json:"Number"`
-	Term   lease.Term `json:"Term"`
-	Of     uint64     `json:"Of"`
-	OfTerm lease.Term `json:"OfTerm"`
-	Left   Micros     `json:"Left"` // of the loan in force
-	Age    Micros     `json:"Age"`  // of the process
-	Pots   []PotState `json:"Pots"`
+	Life   uint64          `json:"Life"`
+	Number uint64          `json:"Number"`
+	Term   lease.Term      `json:"Term"`
+	Of     uint64          `json:"Of"`
+	OfTerm lease.Term      `json:"OfTerm"`
+	Left   monotime.Micros `json:"Left"` // of the loan in force
+	Age    monotime.Micros `json:"Age"`  // of the process
+	Pots   []PotState      `json:"Pots"`
 }
 
 // PotState is what was lent and spent of one budget.
 type PotState struct {
-	Budget string   `json:"Budget"`
-	Lent   int      `json:"Lent"`
-	Spent  []Micros `json:"Spent"` // how long ago, of each unit of the last second
+	Budget string            `json:"Budget"`
+	Lent   int               `json:"Lent"`
+	Spent  []monotime.Micros `json:"Spent"` // how long ago, of each unit of the last second
 }
 
 // State returns what the holder holds.
-func (h *Holder) State(now Micros) *State {
+func (h *Holder) State(now monotime.Micros) *State {
 	s := &State{Life: h.life, Number: h.number, Term: h.term, Of: h.of, OfTerm: h.ofTerm, Left: max(0, h.until-now), Age: now - h.born}
 	for name, p := range h.pots {
 		p.slide(now - h.s.window())
@@ -310,14 +311,14 @@
 
 // Give leaves all to the process that takes this one's place, and returns what that has to know: from now on nothing is spent
 // here. Should nobody take it, Begin with another life goes on.
-func (h *Holder) Give(now Micros) *State {
+func (h *Holder) Give(now monotime.Micros) *State {
 	s := h.State(now)
 	h.begun = false
 	return s
 }
 
 // Restore goes on as another process has left off so long ago.
-func (h *Holder) Restore(now, age Micros, s *State) {
+func (h *Holder) Restore(now, age monotime.Micros, s *State) {
 	age = max(0, age)
 	h.begun, h.life, h.number, h.term, h.of, h.ofTerm = true, s.Life, s.Number, s.Term, s.Of, s.OfTerm
 	h.until, h.born = now+s.Left-age, now-age-s.Age
--- a/internal/decide/quota/loans.go
+++ b/internal/decide/quota/loans.go
@@ -21,21 +21,18 @@
 	"fmt"
 
 	"dunlinsail/internal/decide/lease"
+	"dunlinsail/internal/monotime"
 )
 
-// Micros is an instant or a duration in microseconds, by the own clock, which never runs backwards and does not stand still
-// while its machine sleeps.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Settings are the same for all instances of a fleet, but for Place.
 type Settings struct {
-	Most   int     // instances that may run at once, at most: for so many a least is held ready
-	Ready  float64 // the part of each budget that is; 1 is that nothing is lent, and all is divided by number and place
-	Place  int     // of this one among them: of what does not divide the first have one more
-	Length Micros  // of a loan
-	Every  Micros  // from one question of a holder to its next
+	Most   int             // instances that may run at once, at most: for so many a least is held ready
+	Ready  float64         // the part of each budget that is; 1 is that nothing is lent, and all is divided by number and place
+	Place  int             // of this one among them: of what does not divide the first have one more
+	Length monotime.Micros // of a loan
+	Every  monotime.Micros // from one question of a holder to its next
 	Drift  float64
 }
 
@@ -80,10 +77,10 @@
 }
 
 // window is the second within which a budget holds, as long as it is by any clock.
-func (s *Settings) window() Micros { return lease.Longer(second, s.Drift) }
+func (s *Settings) window() monotime.Micros { return lease.Longer(second, s.Drift) }
 
 // over is for how long a loan that is given now may be in force.
-func (s *Settings) over() Micros { return lease.Longer(s.Length, s.Drift) }
+func (s *Settings) over() monotime.Micros { return lease.Longer(s.Length, s.Drift) }
 
 // Want is what a holder says of a budget.
 type Want struct {
@@ -112,10 +109,10 @@
 
 // Grant answers an Ask.
 type Grant struct {
-	Life   uint64     `cbor:"Life"`
-	Number uint64     `cbor:"Number"` // of the question
-	Term   lease.Term `cbor:"Term"`
-	Serial uint64     `cbor:"Serial"` // of the loan; 0 is that this is none: ask again, in this term
-	Length Micros     `cbor:"Length"` // from when the question went out, by the holder's clock
-	Shares []Share    `cbor:"Shares"`
+	Life   uint64          `cbor:"Life"`
+	Number uint64          `cbor:"Number"` // of the question
+	Term   lease.Term      `cbor:"Term"`
+	Serial uint64          `cbor:"Serial"` // of the loan; 0 is that this is none: ask again, in this term
+	Length monotime.Micros `cbor:"Length"` // from when the question went out, by the holder's clock
+	Shares []Share         `cbor:"Shares"`
 }
--- a/internal/decide/quota/loans_test.go
+++ b/internal/decide/quota/loans_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"dunlinsail/internal/decide/lease"
+	"dunlinsail/internal/monotime"
 )
 
 var settings = Settings{Most: 4, Ready: 0.2, Length: 3 * second, Every: second / 4, Drift: 0.005}
@@ -23,11 +24,11 @@
 }
 
 // answer has a holder hear that it is lent so much, as the answer to a question of an instant.
-func answer(h *Holder, now Micros, a Ask, serial uint64, units int) {
+func answer(h *Holder, now monotime.Micros, a Ask, serial uint64, units int) {
 	h.Hear(now, Grant{Life: a.Life, Number: a.Number, Term: term, Serial: serial, Length: settings.Length, Shares: []Share{{"b", units}}})
 }
 
-func asked(h *Holder, now Micros) Ask {
+func asked(h *Holder, now monotime.Micros) Ask {
 	a := h.Ask(now)
 	if a.Term != term {
 		h.Hear(now, Grant{Life: a.Life, Number: a.Number, Term: term})
@@ -97,7 +98,7 @@
 		}
 		units := rapid.Float64Range(0, 300).Draw(r, "units")
 		b.Budget("b", units, false)
-		now := Micros(0)
+		now := monotime.Micros(0)
 		b.Begin(now, term)
 		now = b.Learning()
 		numbers := map[string]uint64{}
--- a/internal/decide/rollout/versions.go
+++ b/internal/decide/rollout/versions.go
@@ -21,10 +21,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-)
 
-// Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
-type Micros = int64
+	"dunlinsail/internal/monotime"
+)
 
 // Source is who offers a version.
 type Source uint8
@@ -131,8 +130,8 @@
 
 // Settings are a machine's.
 type Settings struct {
-	Trial bool   // what is applied is on trial until Judged
-	Gap   Micros // from one check to the next, at least
+	Trial bool            // what is applied is on trial until Judged
+	Gap   monotime.Micros // from one check to the next, at least
 	Seed  uint64
 }
 
@@ -151,7 +150,7 @@
 const backMost = 5
 
 // saveAgain is the first pause before what could not be written down is written again.
-const saveAgain Micros = 1_000_000
+const saveAgain monotime.Micros = 1_000_000
 
 // Action is what a host is to do.
 type Action uint8
@@ -213,13 +212,13 @@
 	held    bool
 	kept    Kept
 
-	next    Micros // no check before
-	backs   int    // how often going back was tried
-	backAt  Micros // when it is tried next; 0 is under way
+	next    monotime.Micros // no check before
+	backs   int             // how often going back was tried
+	backAt  monotime.Micros // when it is tried next; 0 is under way
 	saving  bool
 	dirty   bool // something is to be written down once Save has ended
 	saves   int  // that failed in a row
-	saveAt  Micros
+	saveAt  monotime.Micros
 	unsaved string // why what is known is not written down; "" is that it is
 }
 
@@ -234,7 +233,7 @@
 
 // Adopt returns a machine for a process that took over from one in the midst of applying a version, and runs it. from is what
 // ran until then.
-func Adopt(now Micros, s Settings, from Pair, work Version, kept Kept) (*Machine, []Step) {
+func Adopt(now monotime.Micros, s Settings, from Pair, work Version, kept Kept) (*Machine, []Step) {
 	m := New(s, from, kept)
 	m.phase, m.work, m.next = Applying, &work, now+s.Gap
 	return m, m.Applied(now, "")
@@ -274,8 +273,8 @@
 func (m *Machine) Unsaved() string { return m.unsaved }
 
 // Deadline returns the instant at which Wake is due, 0 for none.
-func (m *Machine) Deadline() (at Micros) {
-	earlier := func(t Micros) {
+func (m *Machine) Deadline() (at monotime.Micros) {
+	earlier := func(t monotime.Micros) {
 		if t > 0 && (at == 0 || t < at) {
 			at = t
 		}
@@ -309,7 +308,7 @@
 }
 
 // Offer takes a version in that a source offers.
-func (m *Machine) Offer(now Micros, v Version) (out []Step) {
+func (m *Machine) Offer(now monotime.Micros, v Version) (out []Step) {
 	reason, ack := m.known(v)
 	switch {
 	case reason != "":
@@ -393,7 +392,7 @@
 }
 
 // begin begins with what waits, if it may: what the service wants gone back to first, then the file, then the service.
-func (m *Machine) begin(now Micros) (out []Step) {
+func (m *Machine) begin(now monotime.Micros) (out []Step) {
 	if !m.idle() || now < m.next {
 		return nil
 	}
@@ -421,7 +420,7 @@
 }
 
 // rest goes on with what was under way before a version came to nothing.
-func (m *Machine) rest(now Micros) (out []Step) {
+func (m *Machine) rest(now monotime.Micros) (out []Step) {
 	m.work = nil
 	switch {
 	case m.leave:
@@ -436,10 +435,10 @@
 }
 
 // pause is how long is waited before going back is tried again.
-func (m *Machine) pause() Micros { return max(m.s.Gap, saveAgain) << max(0, m.backs-1) }
+func (m *Machine) pause() monotime.Micros { return max(m.s.Gap, saveAgain) << max(0, m.backs-1) }
 
 // Checked tells what came of Check: a reason is that the version is refused.
-func (m *Machine) Checked(now Micros, reason string) (out []Step) {
+func (m *Machine) Checked(now monotime.Micros, reason string) (out []Step) {
 	if m.phase != Checking {
 		return nil
 	}
@@ -473,7 +472,7 @@
 }
 
 // Applied tells what came of Apply: with a reason nothing has changed.
-func (m *Machine) Applied(now Micros, reason string) (out []Step) {
+func (m *Machine) Applied(now monotime.Micros, reason string) (out []Step) {
 	if m.phase != Applying {
 		return nil
 	}
@@ -510,7 +509,7 @@
 }
 
 // confirm takes what runs as good.
-func (m *Machine) confirm(now Micros) []Step {
+func (m *Machine) confirm(now monotime.Micros) []Step {
 	v := *m.open
 	m.phase, m.open = Idle, nil
 	if !m.running.same(*m.kept.Good) {
@@ -524,7 +523,7 @@
 }
 
 // Judged tells what came of a trial: a reason is that the version does worse than what ran before.
-func (m *Machine) Judged(now Micros, reason string) (out []Step) {
+func (m *Machine) Judged(now monotime.Micros, reason string) (out []Step) {
 	if m.phase != OnTrial {
 		return nil
 	}
@@ -538,7 +537,7 @@
 }
 
 // WentBack tells what came of Back: with a reason what was refused still runs.
-func (m *Machine) WentBack(now Micros, reason string) (out []Step) {
+func (m *Machine) WentBack(now monotime.Micros, reason string) (out []Step) {
 	if m.phase != GoingBack || m.backAt > 0 {
 		return nil
 	}
@@ -566,7 +565,7 @@
 }
 
 // Hold keeps new versions waiting, or ends that: while the process hands over or ends, nothing is begun.
-func (m *Machine) Hold(now Micros, yes bool) []Step {
+func (m *Machine) Hold(now monotime.Micros, yes bool) []Step {
 	m.held = yes
 	return m.begin(now)
 }
@@ -582,7 +581,7 @@
 }
 
 // Saved tells what came of Save: a reason is that it is not written down. It is tried again, and nothing waits for it.
-func (m *Machine) Saved(now Micros, reason string) []Step {
+func (m *Machine) Saved(now monotime.Micros, reason string) []Step {
 	if !m.saving {
 		return nil
 	}
@@ -601,7 +600,7 @@
 }
 
 // Wake is due at Deadline.
-func (m *Machine) Wake(now Micros) (out []Step) {
+func (m *Machine) Wake(now monotime.Micros) (out []Step) {
 	if !m.saving && m.saveAt > 0 && now >= m.saveAt {
 		out = m.save()
 	}
--- a/internal/decide/rollout/versions_test.go
+++ b/internal/decide/rollout/versions_test.go
@@ -7,9 +7,11 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"dunlinsail/internal/monotime"
 )
 
-const sec Micros = 1_000_000
+const sec monotime.Micros = 1_000_000
 
 func service(epoch string, n uint64) Version {
 	return Version{ID: ID{Service, epoch, n}, Digest: fmt.Sprint(epoch, n)}
@@ -21,7 +23,7 @@
 type story struct {
 	*testing.T
 	m   *Machine
-	now Micros
+	now monotime.Micros
 	got []string
 	// What the host does at once; a test that wants to wait takes the action out.
 	does map[Action]bool
@@ -219,7 +221,7 @@
 	s.offer(service("a", 1))
 	s.did(s.m.Judged(s.now, "worse"))
 	s.got = nil
-	var waits []Micros
+	var waits []monotime.Micros
 	for {
 		at := s.m.Deadline()
 		if at == 0 {
@@ -307,7 +309,7 @@
 type world struct {
 	*rapid.T
 	m        *Machine
-	now      Micros
+	now      monotime.Micros
 	s        Settings
 	disk     []byte // Kept, as last written
 	torn     bool   // a writing failed: what is known may be lost with the process
--- a/internal/decide/subset/bucket.go
+++ b/internal/decide/subset/bucket.go
@@ -1,6 +1,10 @@
 package subset
 
-import "math"
+import (
+	"math"
+
+	"dunlinsail/internal/monotime"
+)
 
 // Bucket is a token bucket on the host's clock: so many a second, a burst at most. golang.org/x/time/rate does the same on
 // time.Time; here instants are the engine's, so that a run in simulated time comes to the same, and a part of a token a
@@ -9,13 +13,13 @@
 	Rate  float64 // a second; 0 is no bound
 	Burst float64 // at most; under 1 it counts as 1, or nothing would ever go
 	have  float64
-	at    Micros
+	at    monotime.Micros
 	begun bool
 }
 
 // Take takes one token, or says when there may be one. A bucket begins with a part of one, drawn by its owner: instances that
 // start together would else all spend their first at once.
-func (b *Bucket) Take(now Micros, first float64) (ok bool, at Micros) {
+func (b *Bucket) Take(now monotime.Micros, first float64) (ok bool, at monotime.Micros) {
 	if b.Rate <= 0 {
 		return true, now
 	}
@@ -28,5 +32,5 @@
 		b.have--
 		return true, now
 	}
-	return false, now + max(1, Micros(math.Ceil((1-b.have)/b.Rate*float64(second))))
+	return false, now + max(1, monotime.Micros(math.Ceil((1-b.have)/b.Rate*float64(second))))
 }
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -16,12 +16,11 @@
 	"fmt"
 	"math"
 	"slices"
-)
 
-// Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
-type Micros = int64
+	"dunlinsail/internal/monotime"
+)
 
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Settings are what a Set needs.
 type Settings struct {
@@ -97,10 +96,10 @@
 	ring   []placed
 	total  float64
 	unwell map[string]bool
-	steps  int     // how often the arc is doubled
-	wake   Micros  // when to make the next step; 0 is never
-	wider  bool    // that step is one wider
-	load   float64 // own requests in flight, on the mean of some seconds
+	steps  int             // how often the arc is doubled
+	wake   monotime.Micros // when to make the next step; 0 is never
+	wider  bool            // that step is one wider
+	load   float64         // own requests in flight, on the mean of some seconds
 	member []Member
 }
 
@@ -139,7 +138,7 @@
 }
 
 // List takes the whole list. Entries whose IDs are empty or told before are passed over.
-func (x *Set) List(now Micros, list []Endpoint) {
+func (x *Set) List(now monotime.Micros, list []Endpoint) {
 	x.ring = x.ring[:0]
 	known := map[string]bool{}
 	for _, e := range list {
@@ -195,7 +194,7 @@
 }
 
 // Unwell tells that an endpoint fails, drains or is full, or no longer. It is whoever knows outcomes that says so.
-func (x *Set) Unwell(now Micros, id string, yes bool) {
+func (x *Set) Unwell(now monotime.Micros, id string, yes bool) {
 	if x.unwell[id] == yes {
 		return
 	}
@@ -209,7 +208,7 @@
 
 // Load tells how many requests of its own the instance has in flight, on the mean of some seconds. What makes no sense is
 // passed over.
-func (x *Set) Load(now Micros, inFlight float64) {
+func (x *Set) Load(now monotime.Micros, inFlight float64) {
 	if inFlight >= 0 && !math.IsInf(inFlight, 0) {
 		x.load = inFlight
 		x.look(now, false)
@@ -222,10 +221,10 @@
 }
 
 // Next returns when Advance has something to decide; ok says whether it ever has.
-func (x *Set) Next() (at Micros, ok bool) { return x.wake, x.wake > 0 }
+func (x *Set) Next() (at monotime.Micros, ok bool) { return x.wake, x.wake > 0 }
 
 // Advance widens or narrows the set if that is due. It says whether the members changed.
-func (x *Set) Advance(now Micros) bool {
+func (x *Set) Advance(now monotime.Micros) bool {
 	if x.wake == 0 || now < x.wake {
 		return false
 	}
@@ -233,7 +232,7 @@
 }
 
 // look cuts the arc anew; due says that a step may be made now.
-func (x *Set) look(now Micros, due bool) bool {
+func (x *Set) look(now monotime.Micros, due bool) bool {
 	was := x.steps
 	want := x.step()
 	switch {
@@ -255,7 +254,7 @@
 }
 
 // arm sets when the next step is made: spread, so that those who see the same do not all do it at once.
-func (x *Set) arm(now Micros, want int) {
+func (x *Set) arm(now monotime.Micros, want int) {
 	pause := widenPause
 	switch x.wider = want > x.steps; {
 	case !x.wider:
@@ -263,7 +262,7 @@
 	case x.crowded(x.steps):
 		pause = loadPause
 	}
-	x.wake = now + max(1, pause/2+Micros(x.float()*float64(pause)))
+	x.wake = now + max(1, pause/2+monotime.Micros(x.float()*float64(pause)))
 }
 
 // step is the next step from here on: as much wider as the own load calls for, one wider, one narrower, or none.
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"dunlinsail/internal/monotime"
 )
 
 func nodes(n int) []Endpoint {
@@ -146,7 +148,7 @@
 
 // play lets a fleet decide until nothing is due any more or the time is up, and returns how many steps were made and the
 // most in any 100 ms.
-func play(fleet []*Set, from, until Micros) (steps, burst int) {
+func play(fleet []*Set, from, until monotime.Micros) (steps, burst int) {
 	for now := from; now < until; now += 100_000 {
 		n := 0
 		for _, x := range fleet {
@@ -172,7 +174,7 @@
 	for i := range 800 {
 		fleet = append(fleet, set(t, i, 3, list))
 	}
-	unwell := func(now Micros, yes bool) {
+	unwell := func(now monotime.Micros, yes bool) {
 		for _, x := range fleet {
 			for i := 0; i < 60; i += 5 {
 				x.Unwell(now, list[i].ID, yes)
@@ -284,10 +286,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := Bucket{Rate: rapid.Float64Range(0.001, 50).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5).Draw(t, "burst")}
 		first := rapid.Float64Range(0, 1).Draw(t, "first")
-		var now Micros
-		var taken []Micros
+		var now monotime.Micros
+		var taken []monotime.Micros
 		for range 200 {
-			now += Micros(rapid.IntRange(0, 2_000_000).Draw(t, "gap"))
+			now += monotime.Micros(rapid.IntRange(0, 2_000_000).Draw(t, "gap"))
 			ok, at := b.Take(now, first)
 			if ok {
 				taken = append(taken, now)
@@ -305,7 +307,7 @@
 	})
 	b := Bucket{Rate: 1.0 / 60}
 	n := 0
-	for now := Micros(0); now < 3600*second; {
+	for now := monotime.Micros(0); now < 3600*second; {
 		ok, at := b.Take(now, 0)
 		if ok {
 			n++
@@ -339,7 +341,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		x := set(t, rapid.IntRange(0, 5000).Draw(r, "position"), rapid.IntRange(1, 12).Draw(r, "least"), nodes(rapid.IntRange(1, 64).Draw(r, "nodes")))
 		load := rapid.Float64Range(0, 300).Draw(r, "load")
-		now := Micros(0)
+		now := monotime.Micros(0)
 		for range 3 { // from wherever the one before has left it
 			for i := range 150 { // told again and again, as an engine does
 				now += second
--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -23,19 +23,20 @@
 // at once, and what cold endpoints may get is never spent by both.
 package takeover
 
-import "fmt"
+import (
+	"fmt"
 
-// Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
-type Micros = int64
+	"dunlinsail/internal/monotime"
+)
 
 // Version is that of the messages. A Taker of another version is turned away.
 const Version = 1
 
 // Times bound the steps.
 type Times struct {
-	Ready  Micros // from Offer to Ready
-	Answer Micros // from a message to its answer, where that takes no work
-	Drain  Micros // from Yours to Done
+	Ready  monotime.Micros // from Offer to Ready
+	Answer monotime.Micros // from a message to its answer, where that takes no work
+	Drain  monotime.Micros // from Yours to Done
 }
 
 // Event is what happened.
@@ -127,7 +128,7 @@
 	state    giverState
 	stopping bool // told to end: it does not go on serving, whatever comes of the taker
 	passed   bool // the taker has given on to another
-	deadline Micros
+	deadline monotime.Micros
 }
 
 func (g *Giver) String() string { return giverStates[g.state] }
@@ -136,10 +137,10 @@
 func (g *Giver) Busy() bool { return g.state != serving }
 
 // Deadline returns the instant at which Wake is due, 0 for none.
-func (g *Giver) Deadline() Micros { return g.deadline }
+func (g *Giver) Deadline() monotime.Micros { return g.deadline }
 
 // Step takes an event in. Events that cannot come in a state change nothing.
-func (g *Giver) Step(now Micros, e Event) []Step {
+func (g *Giver) Step(now monotime.Micros, e Event) []Step {
 	if e == Wake && (g.deadline == 0 || now < g.deadline) {
 		return nil // an old one
 	}
@@ -231,7 +232,7 @@
 }
 
 // back is what follows when a taker to which all was left is not there any more.
-func (g *Giver) back(now Micros) []Step {
+func (g *Giver) back(now monotime.Micros) []Step {
 	if g.stopping {
 		g.to(draining, now+g.Times.Drain)
 		return []Step{{Action: Drain}}
@@ -240,7 +241,7 @@
 	return []Step{{Action: Reopen}}
 }
 
-func (g *Giver) to(s giverState, deadline Micros) { g.state, g.deadline = s, deadline }
+func (g *Giver) to(s giverState, deadline monotime.Micros) { g.state, g.deadline = s, deadline }
 
 // ---- The taker -------------------------------------------------------------
 
@@ -271,13 +272,13 @@
 	state    takerState
 	gone     bool // Go came before we were ready
 	orphan   bool // the giver ended before we were ready
-	deadline Micros
+	deadline monotime.Micros
 }
 
 func (t *Taker) String() string { return takerStates[t.state] }
 
 // Begin returns the first steps, once there is a connection to a giver.
-func (t *Taker) Begin(now Micros) []Step {
+func (t *Taker) Begin(now monotime.Micros) []Step {
 	t.to(asking, now+t.Times.Answer)
 	return []Step{send(Hello)}
 }
@@ -286,13 +287,13 @@
 func (t *Taker) Alone() { t.to(alone, 0) }
 
 // Deadline returns the instant at which Wake is due, 0 for none.
-func (t *Taker) Deadline() Micros { return t.deadline }
+func (t *Taker) Deadline() monotime.Micros { return t.deadline }
 
 // Serving says whether the taker accepts.
 func (t *Taker) Serving() bool { return t.state == accepting || t.state == alone }
 
 // Step takes an event in. Events that cannot come in a state change nothing.
-func (t *Taker) Step(now Micros, e Event, reason string) []Step {
+func (t *Taker) Step(now monotime.Micros, e Event, reason string) []Step {
 	if e == Wake && (t.deadline == 0 || now < t.deadline) {
 		return nil // an old one
 	}
@@ -385,7 +386,7 @@
 }
 
 // prepare waits for Yours. Who is not sure waits however long: only Yours or the giver's end make it accept.
-func (t *Taker) prepare(now Micros) []Step {
+func (t *Taker) prepare(now monotime.Micros) []Step {
 	t.to(prepared, 0)
 	if t.Sure {
 		t.to(prepared, now+t.Times.Answer)
@@ -396,4 +397,4 @@
 // Given says whether the giver may still hand connections over.
 func (t *Taker) Given() bool { return t.state == accepting }
 
-func (t *Taker) to(s takerState, deadline Micros) { t.state, t.deadline = s, deadline }
+func (t *Taker) to(s takerState, deadline monotime.Micros) { t.state, t.deadline = s, deadline }
--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"dunlinsail/internal/monotime"
 )
 
 var times = Times{Ready: 10, Answer: 2, Drain: 5}
@@ -350,11 +352,11 @@
 				}
 			}
 		}
-		now := Micros(rng.IntN(1000))
+		now := monotime.Micros(rng.IntN(1000))
 		began := now
 		do(tk.Begin(now))
 		for !tk.Serving() && now-began < 6_000_000 {
-			now += Micros(rng.IntN(300_000))
+			now += monotime.Micros(rng.IntN(300_000))
 			switch {
 			case tk.Deadline() != 0 && now >= tk.Deadline():
 				do(tk.Step(now, Wake, ""))
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -16,12 +16,10 @@
 	"math"
 
 	"dunlinsail/internal/decide/concurrency"
+	"dunlinsail/internal/monotime"
 )
 
-// Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Settings are what a Table needs.
 type Settings struct {
@@ -33,10 +31,10 @@
 	SpillTraffic float64 // part of a zone's requests that may go elsewhere, over 0 to 1
 	ReturnShare  float64 // part of its requests that a zone gets at first when it is back, over 0 to 1
 
-	Step      Micros // a step of a return is held for so long, more or less
-	Away      Micros // a zone that was lost stays out for so long at least; twice as long each time it flaps
-	AwayMost  Micros // but no longer than this
-	Least     int    // requests in flight to a zone, bounds of what is learned
+	Step      monotime.Micros // a step of a return is held for so long, more or less
+	Away      monotime.Micros // a zone that was lost stays out for so long at least; twice as long each time it flaps
+	AwayMost  monotime.Micros // but no longer than this
+	Least     int             // requests in flight to a zone, bounds of what is learned
 	Most      int
 	Seed      uint64
 	Instances int // that decide alike, this one included
@@ -124,7 +122,7 @@
 	Zone       int // -1 is nowhere: it is turned away
 	Spill      bool
 	Reason     Reason
-	RetryAfter Micros // of one that is turned away
+	RetryAfter monotime.Micros // of one that is turned away
 }
 
 // Table decides. Make one with New.
@@ -146,14 +144,14 @@
 	// welcome is the part of the spare room that others' traffic may take, by how it fared: what a zone's own requests
 	// need more of, this instance sees in its guests' answers only.
 	welcome              float64
-	guestFrom            Micros
+	guestFrom            monotime.Micros
 	guestGood, guestsAll int
 
-	share  float64 // Returning: of its requests
-	owed   float64 // of the share, not yet asked for
-	until  Micros  // Lost: out at least until then. Returning: of the present step
-	away   Micros  // for how long it is out next time
-	upFrom Micros
+	share  float64         // Returning: of its requests
+	owed   float64         // of the share, not yet asked for
+	until  monotime.Micros // Lost: out at least until then. Returning: of the present step
+	away   monotime.Micros // for how long it is out next time
+	upFrom monotime.Micros
 
 	asked  meter // requests whose first zone it is
 	spilt  meter // of these, what went elsewhere
@@ -162,9 +160,9 @@
 
 // window counts what came of attempts of late.
 type window struct {
-	from       Micros
+	from       monotime.Micros
 	good, all  int
-	silentFrom Micros // since when nothing has come while attempts were in flight; 0 is not so
+	silentFrom monotime.Micros // since when nothing has come while attempts were in flight; 0 is not so
 }
 
 // New returns a table in which all zones are up, or the error of settings that make no sense.
@@ -215,7 +213,7 @@
 )
 
 // Members tells how many endpoints of a zone are ready.
-func (t *Table) Members(now Micros, number, ready int) {
+func (t *Table) Members(now monotime.Micros, number, ready int) {
 	z := &t.zones[number]
 	z.ready = ready
 	if ready == 0 && z.state != Lost {
@@ -224,7 +222,7 @@
 }
 
 // lose takes a zone out.
-func (t *Table) lose(now Micros, z *zone) {
+func (t *Table) lose(now monotime.Micros, z *zone) {
 	if z.state == Up && now-z.upFrom > calm {
 		z.away = t.s.Away
 	}
@@ -235,8 +233,8 @@
 }
 
 // spread draws a time around d, so that instances that decide alike do not decide at once.
-func (t *Table) spread(d Micros) Micros {
-	return Micros(float64(d) * (1 + jitter*(2*t.chance()-1)))
+func (t *Table) spread(d monotime.Micros) monotime.Micros {
+	return monotime.Micros(float64(d) * (1 + jitter*(2*t.chance()-1)))
 }
 
 // chance returns a number in [0,1) (SplitMix64).
@@ -250,7 +248,7 @@
 
 // Ask says where a request may go. The host then has the balancer pick within that zone, and tells with Sent what it
 // sent there, further tries included.
-func (t *Table) Ask(now Micros, r Request) Answer {
+func (t *Table) Ask(now monotime.Micros, r Request) Answer {
 	if r.Bound >= 0 {
 		t.step(now, &t.zones[r.Bound])
 		if t.zones[r.Bound].state == Lost {
@@ -326,7 +324,7 @@
 }
 
 // Sent notes an attempt that went to a zone. Further tries of a request count like first ones.
-func (t *Table) Sent(now Micros, number int, spill bool) {
+func (t *Table) Sent(now monotime.Micros, number int, spill bool) {
 	z := &t.zones[number]
 	z.flight++
 	if spill {
@@ -341,7 +339,7 @@
 type Outcome struct {
 	Class    int
 	Spill    bool
-	Took     Micros
+	Took     monotime.Micros
 	InFlight int  // in the zone when it went out, itself included
 	Served   bool // it was answered
 	Good     bool // within the wanted time
@@ -349,7 +347,7 @@
 }
 
 // Done notes what came of an attempt.
-func (t *Table) Done(now Micros, number int, o Outcome) {
+func (t *Table) Done(now monotime.Micros, number int, o Outcome) {
 	z := &t.zones[number]
 	z.flight--
 	if o.Spill {
@@ -376,7 +374,7 @@
 }
 
 // fared learns from what came of a guest how many more are welcome.
-func (t *Table) fared(now Micros, z *zone, good bool) {
+func (t *Table) fared(now monotime.Micros, z *zone, good bool) {
 	z.guestsAll++
 	if good {
 		z.guestGood++
@@ -408,7 +406,7 @@
 }
 
 // step moves a zone on by what is known now.
-func (t *Table) step(now Micros, z *zone) {
+func (t *Table) step(now monotime.Micros, z *zone) {
 	w := &z.window
 	if z.state != Lost && w.silentFrom > 0 && now-w.silentFrom > silence {
 		t.lose(now, z) // cut off, whatever discovery says
@@ -451,11 +449,11 @@
 
 // meter counts events of the last second or so.
 type meter struct {
-	from      Micros
+	from      monotime.Micros
 	now, last float64
 }
 
-func (m *meter) slide(now Micros) {
+func (m *meter) slide(now monotime.Micros) {
 	switch past := now - m.from; {
 	case past >= 2*second:
 		m.from, m.now, m.last = now, 0, 0
@@ -464,13 +462,13 @@
 	}
 }
 
-func (m *meter) add(now Micros) {
+func (m *meter) add(now monotime.Micros) {
 	m.slide(now)
 	m.now++
 }
 
 // rate is how many there were in the last second, the present one counted by its part.
-func (m *meter) rate(now Micros) float64 {
+func (m *meter) rate(now monotime.Micros) float64 {
 	m.slide(now)
 	return m.now + m.last*(1-float64(now-m.from)/float64(second))
 }
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -7,9 +7,11 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"dunlinsail/internal/monotime"
 )
 
-const ms Micros = 1000
+const ms monotime.Micros = 1000
 
 func settings(instances int) Settings {
 	return Settings{Zones: 3, Classes: []float64{1, 5}, Ranks: [][]int{{0, 1, 2}, {1, 2, 0}, {2, 0, 1}}, SpillSpare: 0.8, SpillTraffic: 1,
@@ -18,7 +20,7 @@
 
 // world is three zones of servers and some instances that send to them, in simulated time.
 type world struct {
-	now    Micros
+	now    monotime.Micros
 	events events
 	order  int
 	rng    *rand.Rand
@@ -37,7 +39,7 @@
 	queue   []*attempt
 	dead    bool
 	mute    bool
-	started Micros // cold from then on; 0 is long ago
+	started monotime.Micros // cold from then on; 0 is long ago
 	slow    float64
 }
 
@@ -46,13 +48,13 @@
 	home, at int
 	class    int
 	spill    bool
-	sent     Micros
+	sent     monotime.Micros
 	inFlight int
 	over     bool
 }
 
 type event struct {
-	at    Micros
+	at    monotime.Micros
 	order int
 	do    func()
 }
@@ -70,12 +72,12 @@
 	return x
 }
 
-func (w *world) after(d Micros, do func()) {
+func (w *world) after(d monotime.Micros, do func()) {
 	w.order++
 	heap.Push(&w.events, event{w.now + d, w.order, do})
 }
 
-func (w *world) until(at Micros) {
+func (w *world) until(at monotime.Micros) {
 	for len(w.events) > 0 && w.events[0].at <= at {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
@@ -108,9 +110,9 @@
 		var arrive func()
 		arrive = func() {
 			w.ask(table, home)
-			w.after(Micros(w.rng.ExpFloat64()/each*float64(second))+1, arrive)
+			w.after(monotime.Micros(w.rng.ExpFloat64()/each*float64(second))+1, arrive)
 		}
-		w.after(Micros(w.rng.Float64()*float64(second)), arrive)
+		w.after(monotime.Micros(w.rng.Float64()*float64(second)), arrive)
 	}
 	return w
 }
@@ -151,7 +153,7 @@
 	if z.started > 0 {
 		took /= min(1, 0.2+0.8*float64(w.now-z.started)/float64(warm))
 	}
-	w.after(Micros(took), func() {
+	w.after(monotime.Micros(took), func() {
 		z.busy--
 		if !z.dead {
 			w.done(x, true)
@@ -182,7 +184,7 @@
 }
 
 // kill takes a zone away: what is there is lost, and connections are refused. Discovery tells some time later.
-func (w *world) kill(number int, told Micros) {
+func (w *world) kill(number int, told monotime.Micros) {
 	z := w.zones[number]
 	z.dead, z.queue = true, nil
 	w.after(told, func() {
@@ -234,7 +236,7 @@
 			w.count()
 			least, most := 1e9, 0.0
 			for s := range 10 {
-				w.until(Micros(43+s) * second)
+				w.until(monotime.Micros(43+s) * second)
 				spilt := float64(w.guests[1] + w.guests[2])
 				least, most = min(least, spilt), max(most, spilt)
 				part, all := w.count()
@@ -253,7 +255,7 @@
 			w.restore(0)
 			w.count()
 			for half := range 60 {
-				w.until(52*second + Micros(half+1)*second/2)
+				w.until(52*second + monotime.Micros(half+1)*second/2)
 				if sent := w.good[0] + w.late[0]; w.late[0] > 5 && w.late[0] > sent/10 {
 					t.Errorf("%.1f s after its return %d of %d were not answered in time", float64(half+1)/2, w.late[0], sent)
 				}
@@ -313,8 +315,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := Micros(0)
-	last := Micros(0)
+	now := monotime.Micros(0)
+	last := monotime.Micros(0)
 	for i := range 4 {
 		table.Members(now, 0, 0)
 		table.Members(now, 0, 5)
@@ -350,9 +352,9 @@
 			spill bool
 		}
 		var flying []out
-		now := Micros(0)
+		now := monotime.Micros(0)
 		for range 3000 {
-			now += Micros(rng.IntN(3000))
+			now += monotime.Micros(rng.IntN(3000))
 			switch k := rng.IntN(20); {
 			case k == 0:
 				table.Members(now, rng.IntN(3), rng.IntN(2)*5)
@@ -381,7 +383,7 @@
 				i := rng.IntN(len(flying))
 				f := flying[i]
 				flying = append(flying[:i], flying[i+1:]...)
-				took := Micros(rng.IntN(200)) * ms
+				took := monotime.Micros(rng.IntN(200)) * ms
 				table.Done(now, f.zone, Outcome{Class: rng.IntN(2), Spill: f.spill, Took: took, InFlight: 1 + rng.IntN(5), Served: rng.IntN(4) > 0,
 					Good: took < aim, Nothing: rng.IntN(10) == 0})
 			}
@@ -436,10 +438,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := Micros(0)
+	now := monotime.Micros(0)
 	table.Members(now, 0, 0)
 	table.Members(now, 0, 4)
-	run := func(d Micros, good func(i int) bool) (most float64) {
+	run := func(d monotime.Micros, good func(i int) bool) (most float64) {
 		n := 0
 		for end := now + d; now < end; now += 2 * ms {
 			if a := table.Ask(now, Request{Bound: -1}); a.Zone == 0 {
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -1,6 +1,9 @@
 package engine
 
-import "dunlinsail/balancer"
+import (
+	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
+)
 
 // actions carries out what a pool's balancer asks for (balancer.Actions).
 type actions struct {
@@ -14,7 +17,7 @@
 func (nowhere) Drop() {}
 
 // Send starts an attempt.
-func (x actions) Send(id uint64, number uint32, timeout Micros) {
+func (x actions) Send(id uint64, number uint32, timeout monotime.Micros) {
 	now := x.now
 	c, e := x.calls[id], x.pool.byNumber[number]
 	if c == nil {
@@ -37,10 +40,10 @@
 		if e == nil {
 			a.Endpoint = &Endpoint{Number: number, Target: nowhere{}}
 		}
-		x.at(now, func(now Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
+		x.at(now, func(now monotime.Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
 		return
 	}
-	a.timeUp = x.at(a.Deadline, func(now Micros) { x.timeUp(now, a) })
+	a.timeUp = x.at(a.Deadline, func(now monotime.Micros) { x.timeUp(now, a) })
 	if o := x.config.Observe; o != nil {
 		o.Sent(now, e.Name)
 	}
@@ -48,7 +51,7 @@
 }
 
 // Refuse answers a client that trying again is harmless.
-func (x actions) Refuse(id uint64, retryAfter Micros) {
+func (x actions) Refuse(id uint64, retryAfter monotime.Micros) {
 	if c := x.calls[id]; c != nil && !c.ended {
 		if len(c.attempts) == 0 {
 			x.pool.turnedAway(x.now)
@@ -79,12 +82,12 @@
 		status = balancer.Moot
 	}
 	x.config.Host.Withdraw(a)
-	x.at(x.now, func(now Micros) { x.outcome(now, a, Reply{Status: status, At: now}) })
+	x.at(x.now, func(now monotime.Micros) { x.outcome(now, a, Reply{Status: status, At: now}) })
 }
 
 // Timer asks for a Timer event.
-func (x actions) Timer(delay Micros, token uint32) {
-	x.at(x.now+delay, func(now Micros) {
+func (x actions) Timer(delay monotime.Micros, token uint32) {
+	x.at(x.now+delay, func(now monotime.Micros) {
 		if !x.pool.gone {
 			x.pool.balancer.Timer(now, token)
 		}
--- a/internal/engine/alarms.go
+++ b/internal/engine/alarms.go
@@ -1,12 +1,16 @@
 package engine
 
-import "container/heap"
+import (
+	"container/heap"
+
+	"dunlinsail/internal/monotime"
+)
 
 // alarm is something to do at an instant; those of the same instant go in the order they were set.
 type alarm struct {
-	at    Micros
+	at    monotime.Micros
 	order uint64
-	ring  func(now Micros)
+	ring  func(now monotime.Micros)
 	place int // in the heap; -1 once out of it
 }
 
@@ -33,7 +37,7 @@
 	return x
 }
 
-func (x *Engine) at(at Micros, ring func(now Micros)) *alarm {
+func (x *Engine) at(at monotime.Micros, ring func(now monotime.Micros)) *alarm {
 	x.order++
 	a := &alarm{at: at, order: x.order, ring: ring}
 	heap.Push(&x.alarms, a)
--- a/internal/engine/byhand.go
+++ b/internal/engine/byhand.go
@@ -5,6 +5,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/monotime"
 )
 
 // This file holds what operators say and ask: endpoints out by hand, and figures.
@@ -12,7 +13,7 @@
 // ByHand takes an endpoint out of all pools that have it, or lets it in again; at is the instant on the clock of words,
 // which all who exchange them read alike. known is false for a name that nobody has: then nothing is changed, and there is
 // no word. A name that is out is known whether or not a list has it.
-func (x *Engine) ByHand(now Micros, name string, out bool, at cordon.Micros) (w cordon.Word, known bool) {
+func (x *Engine) ByHand(now monotime.Micros, name string, out bool, at monotime.Micros) (w cordon.Word, known bool) {
 	for _, p := range x.pools {
 		known = known || p.has(name)
 	}
@@ -25,7 +26,7 @@
 }
 
 // Hear takes a word in that was said here or elsewhere.
-func (x *Engine) Hear(now Micros, w cordon.Word) {
+func (x *Engine) Hear(now monotime.Micros, w cordon.Word) {
 	x.now = now
 	if !x.bans.Say(w) {
 		return
@@ -44,7 +45,7 @@
 func (x *Engine) Words() []cordon.Word { return x.bans.Words() }
 
 // ban has the balancer obey, and keeps in what waits for a connection.
-func (p *Pool) ban(now Micros, e *Endpoint, out bool) {
+func (p *Pool) ban(now monotime.Micros, e *Endpoint, out bool) {
 	if e.banned == out {
 		return
 	}
@@ -84,7 +85,7 @@
 }
 
 // Figures returns them.
-func (x *Engine) Figures(now Micros) (f Figures) {
+func (x *Engine) Figures(now monotime.Micros) (f Figures) {
 	if t := x.together; t != nil {
 		f.Limited, f.OverLimit, f.Suspects = slices.ContainsFunc(t.tenants, func(b string) bool { return b != "" }), t.refused, len(t.suspect)
 		f.Lent = t.member.View(now).Loan > 0
--- a/internal/engine/byhand_test.go
+++ b/internal/engine/byhand_test.go
@@ -7,6 +7,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/monotime"
 )
 
 // Whatever is told, handed over or said in between, nothing new goes to what is out: lists in which a name drains, leaves, comes
@@ -16,7 +17,7 @@
 		rng := rand.New(rand.NewPCG(seed, 7))
 		h, c, list := instance(t, nil)
 		list = list[:6]
-		now, generation := Micros(1_000*second), int64(1)
+		now, generation := monotime.Micros(1_000*second), int64(1)
 		tell := func() {
 			generation++
 			h.p.Members(now, Told{Kind: balancer.ListFull, Generation: generation, Members: list})
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -3,6 +3,7 @@
 import (
 	"dunlinsail/internal/decide/concurrency"
 	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/monotime"
 )
 
 // Client is whose requests are shared out together, and whose ids must differ while they are open. It belongs to its
@@ -36,7 +37,7 @@
 
 // share makes the decisions between clients.
 func (p *Pool) share(s Sharing, seed uint64) error {
-	expect := make([]fairqueue.Micros, len(p.engine.config.Site.Settings.Classes))
+	expect := make([]monotime.Micros, len(p.engine.config.Site.Settings.Classes))
 	for i, class := range p.engine.config.Site.Settings.Classes {
 		expect[i] = class.Aim / 5 // as the balancer's own first guess
 	}
@@ -54,7 +55,7 @@
 }
 
 // offer asks whether a call may go on. What the decision is shows in pump.
-func (p *Pool) offer(now Micros, c *Call) {
+func (p *Pool) offer(now monotime.Micros, c *Call) {
 	if p.limited(now, c) || p.turnsAway(now, c) {
 		return
 	}
@@ -77,7 +78,7 @@
 
 // pump carries out the decisions between clients that have become due. It is called once after each event and
 // never from within one: what it does may free a place, which its next turn sees.
-func (x *Engine) pump(now Micros) {
+func (x *Engine) pump(now monotime.Micros) {
 	for len(x.touched) > 0 {
 		p := x.touched[len(x.touched)-1]
 		x.touched = x.touched[:len(x.touched)-1]
@@ -86,7 +87,7 @@
 	}
 }
 
-func (p *Pool) pump(now Micros) {
+func (p *Pool) pump(now monotime.Micros) {
 	x := p.engine
 	if p.limit != nil {
 		p.shares.Slots(p.limit.Value())
@@ -109,7 +110,7 @@
 	if at := p.shares.Wake(); at != p.wakeAt {
 		x.callOff(p.wake)
 		if p.wake, p.wakeAt = nil, at; at != 0 {
-			p.wake = x.at(at, func(Micros) {
+			p.wake = x.at(at, func(monotime.Micros) {
 				p.wakeAt = 0
 				x.touch(p)
 			})
@@ -126,14 +127,14 @@
 	limits := &x.config.Site.Settings.Limits
 	if limits.RetryAfter && d.RetryAfter > 0 {
 		// Spread, so that those turned away together do not return together.
-		after := Micros(float64(d.RetryAfter) * (1 + x.rng.Float64()/2))
+		after := monotime.Micros(float64(d.RetryAfter) * (1 + x.rng.Float64()/2))
 		a.RetryAfter = min(after, limits.MaxRetryAfter)
 	}
 	return a
 }
 
 // learn takes in what a request that was served tells of how long such take.
-func (p *Pool) learn(now Micros, c *Call) {
+func (p *Pool) learn(now monotime.Micros, c *Call) {
 	took := now - c.admitted
 	p.shares.Learn(int(c.In.Class), took)
 	if p.limit != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,12 +13,10 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 )
 
-// Micros is an instant or a duration in microseconds; the host's clock never runs backwards.
-type Micros = balancer.Micros
-
 // Host carries out what an engine asks for. Its methods are called from within the engine's, in the order in which they
 // are to take effect; they must not wait, and must not call the engine.
 type Host interface {
@@ -53,19 +51,19 @@
 // Observer is told what an engine does, for counting over a fleet. Its methods must not wait, and must not call the engine.
 type Observer interface {
 	// Sent tells that an attempt started at an endpoint.
-	Sent(now Micros, endpoint string)
+	Sent(now monotime.Micros, endpoint string)
 	// Ended tells an attempt's outcome, Probed a probe's.
-	Ended(now Micros, endpoint string, s balancer.Status, latency Micros)
-	Probed(now Micros, endpoint string, s balancer.Status, latency Micros)
+	Ended(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros)
+	Probed(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros)
 	// Told tells news of the list, as the pool was told.
-	Told(now Micros, t Told)
+	Told(now monotime.Micros, t Told)
 }
 
 // Reply is what came of an attempt or a probe.
 type Reply struct {
 	Status balancer.Status
-	At     Micros
-	From   Micros // its latency counts from here, when the last byte of the request had gone; 0 is from its start
+	At     monotime.Micros
+	From   monotime.Micros // its latency counts from here, when the last byte of the request had gone; 0 is from its start
 	Load   []float32
 	Answer any // whatever the request's front makes the client's answer of; of what is not OK it may be nil
 }
@@ -86,13 +84,13 @@
 // Answer is the final answer to a request.
 type Answer struct {
 	Verdict    Verdict
-	RetryAfter Micros // Refused and Limited only; 0 is no advice
-	Reason     string // of those, for people; may be empty
-	Reply      *Reply // of Served; of Refused and Failed, the last that an endpoint answered, or nil
+	RetryAfter monotime.Micros // Refused and Limited only; 0 is no advice
+	Reason     string          // of those, for people; may be empty
+	Reply      *Reply          // of Served; of Refused and Failed, the last that an endpoint answered, or nil
 
-	Attempts int    // that were started
-	Waited   Micros // for its turn, before it went to the balancer
-	Endpoint string // that served it, by its name; "" is none
+	Attempts int             // that were started
+	Waited   monotime.Micros // for its turn, before it went to the balancer
+	Endpoint string          // that served it, by its name; "" is none
 }
 
 // Call is a client's request on its way through the engine.
@@ -101,15 +99,15 @@
 	Pool    *Pool            // whose endpoints it may go to
 	ID      string           // the client's
 	In      balancer.Request // but for the ID, which the engine gives
-	Arrived Micros           // when the request was whole
+	Arrived monotime.Micros  // when the request was whole
 	Host    any              // the host's own
 
 	// Spent says whether a part of the request has gone out that cannot be shown again: then no further attempt is
 	// made. nil is never.
 	Spent func() bool
 
-	admitted Micros // when it went to the balancer; 0 before
-	inFlight int    // requests in flight then, itself included
+	admitted monotime.Micros // when it went to the balancer; 0 before
+	inFlight int             // requests in flight then, itself included
 	attempts []*Attempt
 	open     int // attempts without outcome
 	ended    bool
@@ -128,10 +126,10 @@
 	Call     *Call
 	Number   int // among the call's, from 0
 	Endpoint *Endpoint
-	Sent     Micros
-	Deadline Micros // nothing of it is waited for from then on
-	Until    Micros // its first byte may not go out from then on; 0 is no such instant
-	Host     any    // the host's own
+	Sent     monotime.Micros
+	Deadline monotime.Micros // nothing of it is waited for from then on
+	Until    monotime.Micros // its first byte may not go out from then on; 0 is no such instant
+	Host     any             // the host's own
 
 	timeUp *alarm
 	done   bool // the balancer knows the outcome
@@ -148,7 +146,7 @@
 	Host    Host
 	Observe Observer // nil is nobody
 
-	Spent func(now Micros, budget string) // told of each unit that is spent of a budget of the fleet; nil is nobody. It must not wait
+	Spent func(now monotime.Micros, budget string) // told of each unit that is spent of a budget of the fleet; nil is nobody. It must not wait
 }
 
 // Engine decides. Make one with New, and give it pools.
@@ -157,8 +155,8 @@
 	total  *fairqueue.Total // of requests over all pools
 	rng    *rand.Rand
 
-	now      Micros  // the instant of the present event
-	pools    []*Pool // not gone
+	now      monotime.Micros // the instant of the present event
+	pools    []*Pool         // not gone
 	bans     cordon.Set
 	together *together // nil where nothing is decided with other instances
 	ordered  ordered   // what is obeyed of the order in which machines go out
@@ -187,7 +185,7 @@
 // ---- Time ------------------------------------------------------------------
 
 // Next returns the instant at which something is due; ok says whether anything is.
-func (x *Engine) Next() (at Micros, ok bool) {
+func (x *Engine) Next() (at monotime.Micros, ok bool) {
 	if len(x.alarms) == 0 {
 		return 0, false
 	}
@@ -195,7 +193,7 @@
 }
 
 // Advance does what is due by an instant. The host calls it when that of Next has come, and after each event.
-func (x *Engine) Advance(now Micros) {
+func (x *Engine) Advance(now monotime.Micros) {
 	x.now = now
 	for len(x.alarms) > 0 && x.alarms[0].at <= now {
 		heap.Pop(&x.alarms).(*alarm).ring(now)
@@ -206,7 +204,7 @@
 // ---- Events ----------------------------------------------------------------
 
 // Submit takes a client's request; the one final answer comes by Host.Answer.
-func (x *Engine) Submit(now Micros, c *Call) {
+func (x *Engine) Submit(now monotime.Micros, c *Call) {
 	x.now = now
 	switch {
 	case c.Client.ids[c.ID] != nil:
@@ -226,7 +224,7 @@
 }
 
 // Leave tells that the client of a request has gone, and that nobody will take its answer if it has come meanwhile.
-func (x *Engine) Leave(now Micros, c *Call) {
+func (x *Engine) Leave(now monotime.Micros, c *Call) {
 	x.now = now
 	if c.ended {
 		for _, a := range c.attempts { // an answer that has begun would wait to be read
@@ -244,7 +242,7 @@
 }
 
 // Ended tells what came of an attempt. What comes after its time was up is passed over.
-func (x *Engine) Ended(now Micros, a *Attempt, r Reply) {
+func (x *Engine) Ended(now monotime.Micros, a *Attempt, r Reply) {
 	x.now = now
 	x.outcome(now, a, r)
 	x.pump(now)
@@ -253,7 +251,7 @@
 // Began tells that an answer has begun that is too large to be held, with a reply of which At is the instant of its
 // beginning. If it says yes, the answer is the client's, and no deadline concerns the attempt any more; what ends it is
 // told to Ended. If it says no, the request has its answer already.
-func (x *Engine) Began(now Micros, a *Attempt, r Reply) bool {
+func (x *Engine) Began(now monotime.Micros, a *Attempt, r Reply) bool {
 	x.now = now
 	yes := x.began(now, a, r)
 	x.pump(now)
@@ -261,17 +259,17 @@
 }
 
 // Heard tells that an answer comes, if slowly: the attempt is waited for as long as its client waits.
-func (x *Engine) Heard(now Micros, a *Attempt) {
+func (x *Engine) Heard(now monotime.Micros, a *Attempt) {
 	x.now = now
 	if c := a.Call; !a.done && !c.ended && a.Deadline < c.In.Deadline {
 		x.callOff(a.timeUp)
 		a.Deadline = c.In.Deadline
-		a.timeUp = x.at(a.Deadline, func(now Micros) { x.timeUp(now, a) })
+		a.timeUp = x.at(a.Deadline, func(now monotime.Micros) { x.timeUp(now, a) })
 	}
 }
 
 // Probed tells what came of a probe that was sent at an instant.
-func (x *Engine) Probed(now Micros, p *Pool, e *Endpoint, sent Micros, r Reply) {
+func (x *Engine) Probed(now monotime.Micros, p *Pool, e *Endpoint, sent monotime.Micros, r Reply) {
 	x.now = now
 	if o := x.config.Observe; o != nil {
 		o.Probed(now, e.Name, r.Status, max(0, r.At-sent))
@@ -283,7 +281,7 @@
 }
 
 // outcome tells the balancer how an attempt ended. The first whole answer of an endpoint is the client's.
-func (x *Engine) outcome(now Micros, a *Attempt, r Reply) {
+func (x *Engine) outcome(now monotime.Micros, a *Attempt, r Reply) {
 	if a.done {
 		return // its time was up before this came
 	}
@@ -318,7 +316,7 @@
 }
 
 // timeUp ends an attempt by our clock, whatever its connection does.
-func (x *Engine) timeUp(now Micros, a *Attempt) {
+func (x *Engine) timeUp(now monotime.Micros, a *Attempt) {
 	if a.done {
 		return
 	}
@@ -335,7 +333,7 @@
 }
 
 // began gives an answer that has begun to the client, if the request has none yet.
-func (x *Engine) began(now Micros, a *Attempt, r Reply) bool {
+func (x *Engine) began(now monotime.Micros, a *Attempt, r Reply) bool {
 	c := a.Call
 	if a.done || c.ended {
 		return false
@@ -378,7 +376,7 @@
 	c.ended = true
 	for _, a := range c.attempts {
 		if !a.done && x.config.Host.Shut(a) {
-			x.at(x.now, func(now Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
+			x.at(x.now, func(now monotime.Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
 		}
 	}
 	x.forget(c)
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -6,17 +6,18 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/maintenance"
+	"dunlinsail/internal/monotime"
 )
 
 // This file obeys the order in which machines go out for work (package decide/work).
 
 // Orders are what an instance has to obey.
 type Orders struct {
-	Wait  bool     `json:"Wait"`  // no order has been heard yet: nothing goes anywhere
-	Stop  []string `json:"Stop"`  // nothing new goes there; who is let in again has been worked on, and is cold
-	Ahead []string `json:"Ahead"` // nothing new goes there once the order holds no more,
-	Until Micros   `json:"Until"` // from this instant on,
-	End   Micros   `json:"End"`   // and what is still open there and at those in Stop is ended from this one
+	Wait  bool            `json:"Wait"`  // no order has been heard yet: nothing goes anywhere
+	Stop  []string        `json:"Stop"`  // nothing new goes there; who is let in again has been worked on, and is cold
+	Ahead []string        `json:"Ahead"` // nothing new goes there once the order holds no more,
+	Until monotime.Micros `json:"Until"` // from this instant on,
+	End   monotime.Micros `json:"End"`   // and what is still open there and at those in Stop is ended from this one
 }
 
 // ordered is what is obeyed; the zero value is nothing.
@@ -26,7 +27,7 @@
 }
 
 // Order has the engine obey an order in place of the one before.
-func (x *Engine) Order(now Micros, o Orders) {
+func (x *Engine) Order(now monotime.Micros, o Orders) {
 	x.now = now
 	x.callOff(x.ordered.lapse)
 	x.callOff(x.ordered.end)
@@ -40,7 +41,7 @@
 }
 
 // obey has all pools obey as of an instant.
-func (x *Engine) obey(now Micros) {
+func (x *Engine) obey(now monotime.Micros) {
 	for _, p := range x.pools {
 		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in their order: what is left to chance must not depend on a map's
 			p.obey(now, name, p.byName[name])
@@ -50,7 +51,7 @@
 }
 
 // obey has one endpoint be out or in, by all that is said of it.
-func (p *Pool) obey(now Micros, name string, e *Endpoint) {
+func (p *Pool) obey(now monotime.Micros, name string, e *Endpoint) {
 	o := &p.engine.ordered
 	p.ban(now, e, p.engine.bans.Out(name) || slices.Contains(o.Stop, name))
 	ahead := slices.Contains(o.Ahead, name)
@@ -70,7 +71,7 @@
 }
 
 // leaveOut ends what is open at machines that are ahead or out: no order has held for long.
-func (x *Engine) leaveOut(now Micros) {
+func (x *Engine) leaveOut(now monotime.Micros) {
 	for _, id := range slices.Sorted(maps.Keys(x.calls)) {
 		for _, a := range slices.Clone(x.calls[id].attempts) {
 			if name := a.Endpoint.Name; !a.done && (slices.Contains(x.ordered.Stop, name) || slices.Contains(x.ordered.Ahead, name)) {
@@ -95,7 +96,7 @@
 
 // Facts returns how machines stand, as this instance sees them: what each can do by its weight, and how much of that is in use by
 // what they report; without reports of how busy they are that is nothing.
-func (x *Engine) Facts(now Micros) (f maintenance.Facts) {
+func (x *Engine) Facts(now monotime.Micros) (f maintenance.Facts) {
 	kinds := x.config.Site.Kinds
 	for _, p := range x.pools {
 		list := p.list
--- a/internal/engine/order_test.go
+++ b/internal/engine/order_test.go
@@ -6,13 +6,14 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/monotime"
 )
 
 // An order is obeyed from its instant: nothing before one is heard, nothing to machines out, to those next in line while it holds; who waits for a
 // connection looks at it last; what is open at either is ended once none has held for long, and one that is not worked on goes on warm.
 func TestOrder(t *testing.T) {
 	x, p, h := fleetOf(t, tenantSite(0, 1, 0), nil, nil)
-	now := Micros(5 * second)
+	now := monotime.Micros(5 * second)
 	run(x, now)
 	sent := func(n int) map[string]int {
 		all := map[string]int{}
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -3,6 +3,7 @@
 import (
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/monotime"
 )
 
 // loaded is a pool whose instance bounds what it adds to the load of endpoints that others load, too (package overload).
@@ -11,7 +12,7 @@
 	bounds   balancer.Bounds // the balancer's, kept up to date
 	decided  overload.Bounds // the same, as decided
 	told     overload.Reason // in the log
-	toldAt   Micros
+	toldAt   monotime.Micros
 	shed     uint64 // requests turned away by the level
 	keptIn   uint64 // probes that the budget did not let out
 	inflight int    // places of figures in a load report; -1 is that it has none
@@ -48,7 +49,7 @@
 }
 
 // rebound brings the balancer's bounds up to date.
-func (p *Pool) rebound(now Micros) {
+func (p *Pool) rebound(now monotime.Micros) {
 	l := p.loaded
 	b := l.control.Bounds(now)
 	l.bounds = balancer.Bounds{Admit: b.Admit, Excess: b.Excess, Inside: b.Inside, Again: b.Again, Waits: b.Waits, First: b.First,
@@ -61,7 +62,7 @@
 }
 
 // turnsAway answers a request that the overload leaves no room for, and says whether it did.
-func (p *Pool) turnsAway(now Micros, c *Call) bool {
+func (p *Pool) turnsAway(now monotime.Micros, c *Call) bool {
 	l := p.loaded
 	if l == nil {
 		return false
@@ -83,7 +84,7 @@
 }
 
 // attemptEnded tells the control how an attempt ended.
-func (p *Pool) attemptEnded(now Micros, a *Attempt, r Reply, took Micros) {
+func (p *Pool) attemptEnded(now monotime.Micros, a *Attempt, r Reply, took monotime.Micros) {
 	l := p.loaded
 	if l == nil {
 		return
@@ -104,14 +105,14 @@
 }
 
 // reported tells the control what an endpoint says of its load.
-func (l *loaded) reported(now Micros, load []float32) {
+func (l *loaded) reported(now monotime.Micros, load []float32) {
 	if l.inflight >= 0 && l.served >= 0 && max(l.inflight, l.served) < len(load) {
 		l.control.Reported(now, overload.Load{Inflight: float64(load[l.inflight]), Served: float64(load[l.served])})
 	}
 }
 
 // probed tells the control what a probe's answer says.
-func (p *Pool) probed(now Micros, r *Reply) {
+func (p *Pool) probed(now monotime.Micros, r *Reply) {
 	if p.loaded != nil && r.Status == balancer.OK {
 		p.loaded.reported(now, r.Load)
 		p.rebound(now)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -10,6 +10,7 @@
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/monotime"
 )
 
 // PoolConfig is what a pool needs.
@@ -25,8 +26,8 @@
 
 	Overload *overload.Settings // what the fleet's overload leaves is decided with the others in mind; nil is not. The site's part is filled in
 
-	RetryShare  float64 // retries at its endpoints, as a part of their requests; 0 is the site's
-	RetryWithin Micros  // as balancer.Settings has it
+	RetryShare  float64         // retries at its endpoints, as a part of their requests; 0 is the site's
+	RetryWithin monotime.Micros // as balancer.Settings has it
 	RetryLeast  float64
 }
 
@@ -41,7 +42,7 @@
 	shares  *fairqueue.Scheduler
 	limit   *concurrency.Limit // nil where the number in flight is not learned
 	wake    *alarm             // for shares
-	wakeAt  Micros
+	wakeAt  monotime.Micros
 	touched bool
 	source  string
 
@@ -101,7 +102,7 @@
 }
 
 // Begin adds a pool, with the list that is known.
-func (p *Pool) Begin(now Micros) {
+func (p *Pool) Begin(now monotime.Micros) {
 	x := p.engine
 	x.now = now
 	x.pools = append(x.pools, p)
@@ -127,7 +128,7 @@
 func (p *Pool) Moved(source string) { p.source = source }
 
 // Members tells news of the list.
-func (p *Pool) Members(now Micros, told Told) {
+func (p *Pool) Members(now monotime.Micros, told Told) {
 	if p.gone {
 		return
 	}
@@ -137,7 +138,7 @@
 }
 
 // Close takes nothing new; what is open goes on to its end, at the endpoints of the pool.
-func (p *Pool) Close(now Micros) {
+func (p *Pool) Close(now monotime.Micros) {
 	p.engine.now = now
 	p.closed = true
 	p.shares.Close()
@@ -180,7 +181,7 @@
 
 // MaySend says whether the first byte of an attempt may still go out: an endpoint that drains gets nothing new past the
 // grace, and connecting may have outlasted it. It may be called beside the engine.
-func (e *Endpoint) MaySend(now Micros) bool {
+func (e *Endpoint) MaySend(now monotime.Micros) bool {
 	stop := e.stopAt.Load()
 	return stop == 0 || now < stop
 }
@@ -190,14 +191,14 @@
 
 // Member is an entry of the list of endpoints, with names where the balancer has numbers.
 type Member struct {
-	Name    string         `json:"Name"`
-	Addr    string         `json:"Addr"` // may be empty for what is gone
-	Zone    string         `json:"Zone"`
-	Kind    string         `json:"Kind"`
-	Cell    uint16         `json:"Cell"`
-	State   balancer.State `json:"State"`
-	Weight  float32        `json:"Weight"`
-	Started Micros         `json:"Started"` // Unix time of its latest start; 0 for long ago
+	Name    string          `json:"Name"`
+	Addr    string          `json:"Addr"` // may be empty for what is gone
+	Zone    string          `json:"Zone"`
+	Kind    string          `json:"Kind"`
+	Cell    uint16          `json:"Cell"`
+	State   balancer.State  `json:"State"`
+	Weight  float32         `json:"Weight"`
+	Started monotime.Micros `json:"Started"` // Unix time of its latest start; 0 for long ago
 }
 
 // Told is news of the list of endpoints. The generations of one discovery only grow.
@@ -213,7 +214,7 @@
 
 // members passes news of the list on, with names turned into numbers. What is older than the list held is passed
 // over: it would bring back endpoints that are known to be draining.
-func (p *Pool) members(now Micros, told Told) {
+func (p *Pool) members(now monotime.Micros, told Told) {
 	if told.Kind == balancer.ListFailed {
 		p.balancer.Members(now, told.Kind, nil)
 		return
@@ -234,7 +235,7 @@
 }
 
 // apply tells the balancer of endpoints.
-func (p *Pool) apply(now Micros, told Told) {
+func (p *Pool) apply(now monotime.Micros, told Told) {
 	entries := make([]balancer.Endpoint, 0, len(told.Members))
 	named := map[string]bool{}
 	for _, m := range told.Members {
@@ -290,7 +291,7 @@
 
 // setState notes from when on nothing new may go to an endpoint. The balancer stops at once; this is for
 // attempts that are waiting for a connection.
-func (p *Pool) setState(now Micros, name string, e *Endpoint, state balancer.State) {
+func (p *Pool) setState(now monotime.Micros, name string, e *Endpoint, state balancer.State) {
 	switch {
 	case e.banned: // nothing goes out since then, whatever is told
 	case state == balancer.Ready:
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -9,6 +9,7 @@
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
 )
 
 // Snapshot is what an engine holds that another which takes its place should know: of each pool the list and what was
@@ -80,7 +81,7 @@
 }
 
 // Snapshot returns what the engine holds.
-func (x *Engine) Snapshot(now Micros) *Snapshot {
+func (x *Engine) Snapshot(now monotime.Micros) *Snapshot {
 	s := &Snapshot{Words: x.bans.Words()}
 	for _, p := range x.pools {
 		if !p.closed {
@@ -92,13 +93,13 @@
 
 // HandOver leaves what cold endpoints may still get to who takes over a snapshot of this instant, or ends that: then what
 // they were to get counts as spent.
-func (x *Engine) HandOver(now Micros, yes bool) {
+func (x *Engine) HandOver(now monotime.Micros, yes bool) {
 	for _, p := range x.pools {
 		p.balancer.HandOver(now, yes)
 	}
 }
 
-func (p *Pool) take(now Micros) *PoolSnapshot {
+func (p *Pool) take(now monotime.Micros) *PoolSnapshot {
 	s := &PoolSnapshot{Name: p.name, Source: p.source, Generation: p.generation, Learned: p.balancer.Learned(now)}
 	list := p.list
 	if p.narrowed != nil {
@@ -145,7 +146,7 @@
 // Restore takes over what another engine held so long ago, and returns what was passed over. It is meant for one that
 // has no request open. A pool takes over from the one of its name, if both have their lists from the same source; the
 // list counts if it is not older than its own.
-func (x *Engine) Restore(now, age Micros, s *Snapshot) (passedOver []string) {
+func (x *Engine) Restore(now, age monotime.Micros, s *Snapshot) (passedOver []string) {
 	x.now = now
 	x.RestoreFleet(now, age, s.Fleet)
 	for _, w := range s.Words {
@@ -174,7 +175,7 @@
 	return passedOver
 }
 
-func (p *Pool) restore(now, age Micros, s *PoolSnapshot) (passedOver []string) {
+func (p *Pool) restore(now, age monotime.Micros, s *PoolSnapshot) (passedOver []string) {
 	if s.Learned == nil || len(s.Names) != len(s.Learned.Endpoints) || len(s.Learned.Classes) != len(s.Classes) {
 		return []string{"all that was learned"}
 	}
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -17,6 +17,7 @@
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
 )
 
 // The files in testdata were written by the build of commit 870f4ac, before any stored name was written down as a tag. A process
@@ -159,7 +160,7 @@
 }
 
 // goldenRun has the engine serve requests for a while, some of which fail, and returns when that is over.
-func goldenRun(t *testing.T, x *Engine, p *Pool, h *carrier) Micros {
+func goldenRun(t *testing.T, x *Engine, p *Pool, h *carrier) monotime.Micros {
 	t.Helper()
 	var list []Member
 	for i := range 4 {
@@ -167,7 +168,7 @@
 	}
 	p.Members(0, Told{Kind: balancer.ListFull, Generation: 1, Members: list})
 	x.BeginFleet(0)
-	now := Micros(0)
+	now := monotime.Micros(0)
 	for i := range 3000 {
 		now += second / 100
 		run(x, now)
@@ -184,7 +185,7 @@
 		for n := 0; len(h.started) > 0; n++ {
 			a := h.started[0]
 			h.started = slices.Delete(h.started, 0, 1)
-			reply := Reply{Status: balancer.OK, At: now + 3000 + Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
+			reply := Reply{Status: balancer.OK, At: now + 3000 + monotime.Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
 			if a.Endpoint.Name == "e1" && i%4 != 0 {
 				reply.Status = balancer.Error
 			}
@@ -199,7 +200,7 @@
 	return now
 }
 
-func goldenSnapshot(t *testing.T) (*Snapshot, Micros) {
+func goldenSnapshot(t *testing.T) (*Snapshot, monotime.Micros) {
 	t.Helper()
 	x, p, h := goldenEngine(t)
 	now := goldenRun(t, x, p, h)
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -8,27 +8,28 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/monotime"
 )
 
 // narrowed is a pool whose instance deals with a part of the list only (package subset): the whole list, and what is told
 // of it to the balancer.
 type narrowed struct {
 	set    *subset.Set
-	whole  map[string]Member // by name
-	asked  bool              // discovery answers only when asked: a list that was known may be old
-	listed bool              // there is a list that is not
-	fails  map[string]int    // of members, failures in a row
-	until  map[string]Micros // those that are unwell by them, and until when that is believed
-	alarm  *alarm            // for the set's next step
+	whole  map[string]Member          // by name
+	asked  bool                       // discovery answers only when asked: a list that was known may be old
+	listed bool                       // there is a list that is not
+	fails  map[string]int             // of members, failures in a row
+	until  map[string]monotime.Micros // those that are unwell by them, and until when that is believed
+	alarm  *alarm                     // for the set's next step
 	probes subset.Bucket
 	rest   func(n float64)
 	first  float64 // part of a probe that the bucket begins with
 
-	open   int     // attempts without outcome
-	load   float64 // on the mean of loadSpan, with what was refused for want of room as if it had been sent (Little's law)
-	takes  float64 // how long an attempt that is served takes, on the mean
-	loadAt Micros  // when that was counted
-	toldAt Micros  // and told to the set
+	open   int             // attempts without outcome
+	load   float64         // on the mean of loadSpan, with what was refused for want of room as if it had been sent (Little's law)
+	takes  float64         // how long an attempt that is served takes, on the mean
+	loadAt monotime.Micros // when that was counted
+	toldAt monotime.Micros // and told to the set
 }
 
 const (
@@ -50,13 +51,13 @@
 	if err != nil {
 		return err
 	}
-	p.narrowed = &narrowed{set: set, whole: map[string]Member{}, asked: p.engine.config.Site.Settings.Subscribe, fails: map[string]int{}, until: map[string]Micros{},
+	p.narrowed = &narrowed{set: set, whole: map[string]Member{}, asked: p.engine.config.Site.Settings.Subscribe, fails: map[string]int{}, until: map[string]monotime.Micros{},
 		rest: p.config.Rest, first: p.engine.rng.Float64()}
 	return nil
 }
 
 // take takes news of the whole list and returns what the balancer is told in its place.
-func (n *narrowed) take(now Micros, told Told) Told {
+func (n *narrowed) take(now monotime.Micros, told Told) Told {
 	before := n.whole
 	if told.Kind == balancer.ListDelta {
 		before = maps.Clone(n.whole)
@@ -81,7 +82,7 @@
 	}
 	n.listed = n.listed || told.Kind != balancer.ListCached || !n.asked
 	maps.DeleteFunc(n.fails, func(name string, _ int) bool { return n.whole[name].Name == "" })
-	maps.DeleteFunc(n.until, func(name string, _ Micros) bool { return n.whole[name].Name == "" })
+	maps.DeleteFunc(n.until, func(name string, _ monotime.Micros) bool { return n.whole[name].Name == "" })
 	list := make([]subset.Endpoint, 0, len(n.whole))
 	for _, m := range n.whole {
 		// Weights that tell of load would move the subsets with it: what is registered is not told apart from that.
@@ -114,7 +115,7 @@
 }
 
 // heard tells the set how an attempt at an endpoint ended.
-func (p *Pool) heard(now Micros, e *Endpoint, status balancer.Status, took Micros) {
+func (p *Pool) heard(now monotime.Micros, e *Endpoint, status balancer.Status, took monotime.Micros) {
 	n := p.narrowed
 	if n == nil || n.whole[e.Name].Name == "" {
 		return
@@ -142,14 +143,14 @@
 }
 
 // opened notes attempts that were started, or that ended for a negative number.
-func (n *narrowed) opened(now Micros, attempts int) {
+func (n *narrowed) opened(now monotime.Micros, attempts int) {
 	n.load += (float64(n.open) - n.load) * -math.Expm1(-float64(now-n.loadAt)/float64(loadSpan))
 	n.open, n.loadAt = n.open+attempts, now
 }
 
 // turnedAway notes a request that was turned away unsent: endpoints that have no room for it hold no more than they can, and
 // what they hold would never say that the instance needs others.
-func (p *Pool) turnedAway(now Micros) {
+func (p *Pool) turnedAway(now monotime.Micros) {
 	if n := p.narrowed; n != nil {
 		n.load += n.takes / float64(loadSpan)
 		p.weigh(now, 0)
@@ -157,7 +158,7 @@
 }
 
 // weigh tells the set of the own load.
-func (p *Pool) weigh(now Micros, attempts int) {
+func (p *Pool) weigh(now monotime.Micros, attempts int) {
 	n := p.narrowed
 	if n == nil {
 		return
@@ -181,7 +182,7 @@
 		}
 	}
 	if ok && !p.gone {
-		n.alarm = p.engine.at(at, func(now Micros) {
+		n.alarm = p.engine.at(at, func(now monotime.Micros) {
 			n.alarm = nil
 			n.age(now)
 			n.opened(now, 0)
@@ -197,7 +198,7 @@
 }
 
 // age believes no longer what is old: one more failure makes such an endpoint unwell again.
-func (n *narrowed) age(now Micros) {
+func (n *narrowed) age(now monotime.Micros) {
 	for _, name := range slices.Sorted(maps.Keys(n.until)) {
 		if now >= n.until[name] {
 			delete(n.until, name)
@@ -209,7 +210,7 @@
 
 // mayProbe says whether a probe is within what nodes have for this instance. A balancer whose probe is not sent is told
 // so at once: a request may wait for its answer.
-func (p *Pool) mayProbe(now Micros, number uint32) bool {
+func (p *Pool) mayProbe(now monotime.Micros, number uint32) bool {
 	ok := true
 	if l := p.loaded; l != nil && !l.control.Probe(now, p.lentProbe(now)) {
 		ok = false
@@ -219,7 +220,7 @@
 		ok, _ = n.probes.Take(now, n.first)
 	}
 	if !ok {
-		p.engine.at(now, func(now Micros) {
+		p.engine.at(now, func(now monotime.Micros) {
 			if !p.gone {
 				p.balancer.Probed(now, number, balancer.Moot, 0, nil)
 			}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -7,6 +7,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -31,7 +32,7 @@
 	if h.fails[a.Endpoint.Name] {
 		status = balancer.Error
 	}
-	h.x.at(a.Sent+20_000, func(now Micros) { h.x.outcome(now, a, Reply{Status: status, At: now}) })
+	h.x.at(a.Sent+20_000, func(now monotime.Micros) { h.x.outcome(now, a, Reply{Status: status, At: now}) })
 }
 func (h *host) Shut(*Attempt) bool { return false }
 func (h *host) Withdraw(*Attempt)  {}
@@ -39,7 +40,7 @@
 func (h *host) Probe(p *Pool, e *Endpoint) {
 	h.probes++
 	sent := h.x.now
-	h.x.at(sent+1000, func(now Micros) {
+	h.x.at(sent+1000, func(now monotime.Micros) {
 		p.balancer.Probed(now, e.Number, balancer.OK, now-sent, []float32{1})
 	})
 }
@@ -83,8 +84,8 @@
 }
 
 // run asks for so many requests, some a second, and returns when the last is over.
-func (h *host) run(c *Client, now Micros, n int, gap Micros) Micros {
-	advance := func(to Micros) {
+func (h *host) run(c *Client, now monotime.Micros, n int, gap monotime.Micros) monotime.Micros {
+	advance := func(to monotime.Micros) {
 		for at, ok := h.x.Next(); ok && at <= to; at, ok = h.x.Next() {
 			h.x.Advance(at)
 		}
--- a/internal/engine/together.go
+++ b/internal/engine/together.go
@@ -9,6 +9,7 @@
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
 )
 
 // Together is what an engine needs to decide with the other instances of its fleet.
@@ -80,7 +81,7 @@
 
 // BeginFleet begins the engine's part in its fleet, as one that no other of its name is beside. It does nothing where that has
 // begun, or where there is no fleet.
-func (x *Engine) BeginFleet(now Micros) {
+func (x *Engine) BeginFleet(now monotime.Micros) {
 	if t := x.together; t != nil && !t.member.Begun() {
 		x.now = now
 		t.member.Begin(now, t.Lives())
@@ -89,7 +90,7 @@
 }
 
 // Word takes a word of another instance in.
-func (x *Engine) Word(now Micros, from string, w coordination.Word) {
+func (x *Engine) Word(now monotime.Micros, from string, w coordination.Word) {
 	if t := x.together; t != nil {
 		x.now = now
 		t.member.Hear(now, from, w)
@@ -99,7 +100,7 @@
 }
 
 // GiveFleet leaves the engine's part in its fleet to one that takes its place, and returns what that has to know; nil is nothing.
-func (x *Engine) GiveFleet(now Micros) *quota.State {
+func (x *Engine) GiveFleet(now monotime.Micros) *quota.State {
 	t := x.together
 	if t == nil || !t.member.Begun() {
 		return nil
@@ -111,7 +112,7 @@
 }
 
 // RestoreFleet takes the place of another engine that left off so long ago.
-func (x *Engine) RestoreFleet(now, age Micros, s *quota.State) {
+func (x *Engine) RestoreFleet(now, age monotime.Micros, s *quota.State) {
 	if t := x.together; t != nil && s != nil && !t.member.Begun() {
 		x.now = now
 		t.member.Restore(now, age, t.Lives(), s)
@@ -120,7 +121,7 @@
 }
 
 // FleetView returns what is known of the fleet; no where there is none.
-func (x *Engine) FleetView(now Micros) (v coordination.View, yes bool) {
+func (x *Engine) FleetView(now monotime.Micros) (v coordination.View, yes bool) {
 	if x.together == nil {
 		return v, false
 	}
@@ -128,7 +129,7 @@
 }
 
 // settle carries the member's words, takes in what all have seen, and has it woken in time.
-func (x *Engine) settle(now Micros) {
+func (x *Engine) settle(now monotime.Micros) {
 	t := x.together
 	for _, o := range t.member.Out() {
 		t.Tell(o.To, o.Word)
@@ -142,7 +143,7 @@
 	}
 	if at := t.member.Next(); t.alarm == nil || t.alarm.place < 0 || at != t.alarm.at {
 		x.callOff(t.alarm)
-		t.alarm = x.at(max(at, now+1), func(now Micros) {
+		t.alarm = x.at(max(at, now+1), func(now monotime.Micros) {
 			t.member.Tick(now)
 			x.settle(now)
 		})
@@ -153,7 +154,7 @@
 const countsMost = 32
 
 // sees is what this instance has seen, with what it adds to the budgets that are earned.
-func (x *Engine) sees(now Micros) (s observations.Seen) {
+func (x *Engine) sees(now monotime.Micros) (s observations.Seen) {
 	t := x.together
 	for _, p := range x.pools {
 		l := p.loaded
@@ -178,7 +179,7 @@
 }
 
 // told takes in what all have seen.
-func (x *Engine) told(now Micros, all *observations.All) {
+func (x *Engine) told(now monotime.Micros, all *observations.All) {
 	t := x.together
 	fresh := map[suspect]float64{}
 	for _, s := range all.Suspects {
@@ -249,7 +250,7 @@
 }
 
 // lent tells the pool's control what it has by itself, and what is lent to it.
-func (p *Pool) lent(now Micros) {
+func (p *Pool) lent(now monotime.Micros) {
 	t := p.engine.together
 	if !p.lending || !t.Uses.Further && !t.Uses.Probes {
 		return
@@ -264,7 +265,7 @@
 }
 
 // spend takes a unit of a budget that is lent, and says whether there was one.
-func (x *Engine) spend(now Micros, budget string) bool {
+func (x *Engine) spend(now monotime.Micros, budget string) bool {
 	t := x.together
 	if !t.member.Take(now, budget) {
 		return false
@@ -276,7 +277,7 @@
 }
 
 // lentProbe returns what takes a probe of those that are lent; nil where none are.
-func (p *Pool) lentProbe(now Micros) func() bool {
+func (p *Pool) lentProbe(now monotime.Micros) func() bool {
 	t := p.engine.together
 	if t == nil || !t.Uses.Probes {
 		return nil
@@ -288,13 +289,13 @@
 }
 
 // lendsFurther says whether one more further attempt is lent to the pool.
-func (p *Pool) lendsFurther(now Micros) bool {
+func (p *Pool) lendsFurther(now monotime.Micros) bool {
 	t := p.engine.together
 	return p.lending && t.Uses.Further && t.member.Left(now, p.budget("further")) > 0
 }
 
 // sentFurther takes a further attempt out of what the pool has by itself, or else of what is lent to it.
-func (p *Pool) sentFurther(now Micros, class int) {
+func (p *Pool) sentFurther(now monotime.Micros, class int) {
 	if p.lendsFurther(now) && !p.loaded.control.Further(now) && p.engine.spend(now, p.budget("further")) {
 		return
 	}
@@ -302,7 +303,7 @@
 }
 
 // wantsFurther notes that a further attempt would be made if there were one to make.
-func (p *Pool) wantsFurther(now Micros, a *Attempt, status balancer.Status) {
+func (p *Pool) wantsFurther(now monotime.Micros, a *Attempt, status balancer.Status) {
 	t := p.engine.together
 	if t == nil || !t.Uses.Further || a.Call.ended || len(a.Call.attempts) >= p.engine.config.Site.Settings.Limits.MaxAttempts {
 		return
@@ -315,7 +316,7 @@
 }
 
 // saw notes how an attempt ended at an endpoint, for the others.
-func (p *Pool) saw(now Micros, a *Attempt, status balancer.Status) {
+func (p *Pool) saw(now monotime.Micros, a *Attempt, status balancer.Status) {
 	t := p.engine.together
 	if t == nil || !t.Uses.Suspects {
 		return
@@ -339,7 +340,7 @@
 }
 
 // limited answers a request that is beyond what its tenant may have over all instances in a second, and says whether it is.
-func (p *Pool) limited(now Micros, c *Call) bool {
+func (p *Pool) limited(now monotime.Micros, c *Call) bool {
 	x := p.engine
 	t := x.together
 	if t == nil || int(c.In.Tenant) >= len(t.tenants) || t.tenants[c.In.Tenant] == "" {
@@ -354,7 +355,7 @@
 	a := Answer{Verdict: Limited, Reason: "its tenant asks for more than it may over all instances"}
 	if limits := &x.config.Site.Settings.Limits; limits.RetryAfter {
 		// What is spent is free again within a second; those turned away are not to return together.
-		a.RetryAfter = min(Micros(float64(second)*(0.25+0.75*x.rng.Float64())), limits.MaxRetryAfter)
+		a.RetryAfter = min(monotime.Micros(float64(second)*(0.25+0.75*x.rng.Float64())), limits.MaxRetryAfter)
 	}
 	x.finish(c, a)
 	return true
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -11,6 +11,7 @@
 	"dunlinsail/internal/decide/observations"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -68,14 +69,14 @@
 }
 
 // run advances through all that is due.
-func run(x *Engine, to Micros) {
+func run(x *Engine, to monotime.Micros) {
 	for at, ok := x.Next(); ok && at <= to; at, ok = x.Next() {
 		x.Advance(at)
 	}
 	x.Advance(to)
 }
 
-func submit(t testing.TB, x *Engine, p *Pool, now Micros, id string, tenant uint16) {
+func submit(t testing.TB, x *Engine, p *Pool, now monotime.Micros, id string, tenant uint16) {
 	t.Helper()
 	c, err := NewClient(fairqueue.Spec{Weight: 1})
 	if err != nil {
@@ -85,7 +86,7 @@
 }
 
 // served serves all that has started, and returns how many that were, and how many of them at e1.
-func (h *carrier) served(x *Engine, now Micros) (all, e1 int) {
+func (h *carrier) served(x *Engine, now monotime.Micros) (all, e1 int) {
 	for len(h.started) > 0 {
 		a := h.started[0]
 		h.started = slices.Delete(h.started, 0, 1)
@@ -100,7 +101,7 @@
 func TestLimitAlone(t *testing.T) {
 	for place, want := range []int{4, 3, 3} {
 		x, p, h := fleetOf(t, tenantSite(10, 3, place), nil, nil)
-		now := Micros(5 * second)
+		now := monotime.Micros(5 * second)
 		run(x, now)
 		let := 0
 		for i := range 8 {
@@ -125,7 +126,7 @@
 // What is lent is spent, and what is given away is spent by nobody but who takes it.
 func TestLimitLentAndHandedOver(t *testing.T) {
 	x, p, h := fleetOf(t, tenantSite(10, 1, 0), &Uses{Tenants: true}, nil)
-	now := Micros(20 * second)
+	now := monotime.Micros(20 * second)
 	run(x, now)
 	for i := range 6 {
 		submit(t, x, p, now, fmt.Sprint(i), 0)
@@ -151,7 +152,7 @@
 	}
 }
 
-func mustView(x *Engine, now Micros) coordination.View {
+func mustView(x *Engine, now monotime.Micros) coordination.View {
 	v, _ := x.FleetView(now)
 	return v
 }
@@ -159,7 +160,7 @@
 // An endpoint that others suspect of failing a class is left out for that class, and not for the other; what is told no more ends.
 func TestSuspects(t *testing.T) {
 	x, p, h := fleetOf(t, tenantSite(0, 100, 0), &Uses{Suspects: true}, nil)
-	now := Micros(5 * second)
+	now := monotime.Micros(5 * second)
 	x.GiveFleet(now) // it hears nobody but this test
 	run(x, now)
 	count := func(class uint8) (part float64) {
@@ -192,7 +193,7 @@
 	o.Instances = 1
 	x, p, h := fleetOf(t, tenantSite(0, 1, 0), &Uses{Further: true}, &o)
 	further := 0
-	for now := Micros(0); now < 30*second; now += second / 50 {
+	for now := monotime.Micros(0); now < 30*second; now += second / 50 {
 		run(x, now)
 		submit(t, x, p, now, fmt.Sprint(now), 1)
 		for len(h.started) > 0 {
@@ -226,7 +227,7 @@
 			o := overload.Shipped()
 			o.Instances = 1
 			x, p, h := fleetOf(b, tenantSite(0, 1, 0), c.uses, &o)
-			now := Micros(5 * second)
+			now := monotime.Micros(5 * second)
 			run(x, now)
 			for b.Loop() {
 				submit(b, x, p, now, "x", 1)
--- a/internal/eventlog/count.go
+++ b/internal/eventlog/count.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
-	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 )
 
-const second balancer.Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // The bounds by which an endpoint counts as bad for a stretch of time: so many failures of so many attempts, by the whole
 // fleet, within two seconds. No instance sees that; it is what the count is for.
@@ -79,14 +79,14 @@
 	name             string
 	sent             []use
 	ended            []use
-	probes, dials    []balancer.Micros
+	probes, dials    []monotime.Micros
 	held, heldMost   int
-	first            balancer.Micros // it was told by anyone
-	toldNew, toldOut map[int]balancer.Micros
+	first            monotime.Micros // it was told by anyone
+	toldNew, toldOut map[int]monotime.Micros
 }
 
 type use struct {
-	at       balancer.Micros
+	at       monotime.Micros
 	instance int
 	failed   bool
 }
@@ -97,7 +97,7 @@
 	endpoints := map[string]*one{}
 	at := func(name string) *one {
 		if endpoints[name] == nil {
-			endpoints[name] = &one{name: name, toldNew: map[int]balancer.Micros{}, toldOut: map[int]balancer.Micros{}}
+			endpoints[name] = &one{name: name, toldNew: map[int]monotime.Micros{}, toldOut: map[int]monotime.Micros{}}
 		}
 		return endpoints[name]
 	}
@@ -118,7 +118,7 @@
 	begin, end := all[0].At, all[len(all)-1].At
 	c.Seconds = float64(end-begin) / float64(second)
 	names := make([]map[string]string, len(fleet)) // of addresses, as each instance has them
-	asked := map[balancer.Micros]int{}
+	asked := map[monotime.Micros]int{}
 	for _, e := range all {
 		switch e.Kind {
 		case Told:
@@ -183,7 +183,7 @@
 		for _, t := range o.toldOut {
 			until = min(until, t)
 		}
-		for kind, at := range map[Kind][]balancer.Micros{Sent: instants(o.sent), Probed: o.probes, Dialed: o.dials} {
+		for kind, at := range map[Kind][]monotime.Micros{Sent: instants(o.sent), Probed: o.probes, Dialed: o.dials} {
 			per[kind] = append(per[kind], seconds(at, max(begin, o.first), until)...)
 		}
 	}
@@ -196,7 +196,7 @@
 	return c
 }
 
-func note(m map[int]balancer.Micros, instance int, at balancer.Micros) {
+func note(m map[int]monotime.Micros, instance int, at monotime.Micros) {
 	if _, ok := m[instance]; !ok {
 		m[instance] = at
 	}
@@ -209,7 +209,7 @@
 	return 0
 }
 
-func instants(uses []use) (at []balancer.Micros) {
+func instants(uses []use) (at []monotime.Micros) {
 	for _, u := range uses {
 		at = append(at, u.at)
 	}
@@ -217,7 +217,7 @@
 }
 
 // seconds counts instants in each whole second of a stretch of time.
-func seconds(at []balancer.Micros, from, to balancer.Micros) []float64 {
+func seconds(at []monotime.Micros, from, to monotime.Micros) []float64 {
 	n := int((to - from) / second)
 	if n <= 0 {
 		return nil
@@ -232,7 +232,7 @@
 }
 
 // lives counts how changes of the list reached the fleet. What was told within a second of the fleet's start was there before.
-func lives(list []*one, begin balancer.Micros) (came, left Life) {
+func lives(list []*one, begin monotime.Micros) (came, left Life) {
 	var cameTold, leftTold, used, users, unknowing []float64
 	for _, o := range list {
 		if o.first > begin+second && len(o.toldNew) > 0 {
@@ -240,7 +240,7 @@
 			for _, t := range o.toldNew {
 				cameTold = append(cameTold, float64(t-o.first)/float64(second))
 			}
-			first := map[int]balancer.Micros{}
+			first := map[int]monotime.Micros{}
 			for _, u := range o.sent {
 				note(first, u.instance, u.at)
 			}
@@ -253,7 +253,7 @@
 			continue
 		}
 		left.Endpoints++
-		var first balancer.Micros
+		var first monotime.Micros
 		for _, t := range o.toldOut {
 			if first == 0 || t < first {
 				first = t
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -14,6 +14,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 )
 
 // Kind says what happened.
@@ -32,12 +33,12 @@
 
 // Event is what happened at one instance.
 type Event struct {
-	At       balancer.Micros // by the instance's clock
+	At       monotime.Micros // by the instance's clock
 	Kind     Kind
 	Endpoint string // its name; its address for Dialed and Closed; "" for Asked
 	Addr     string // of Told
 	Status   string // of Ended and Probed, by balancer.Status; of Told, the state; of Dialed and Asked, "ok" or "failed"
-	Latency  balancer.Micros
+	Latency  monotime.Micros
 }
 
 const mark = "event "
@@ -103,13 +104,13 @@
 // Log writes events. It is engine.Observer and is told of connections and calls of discovery beside that. Its methods may
 // be called side by side.
 type Log struct {
-	now func() balancer.Micros
+	now func() monotime.Micros
 	mu  sync.Mutex
 	to  io.Writer
 }
 
 // NewLog returns a log that writes to a writer, with instants by a clock. What cannot be written is lost.
-func NewLog(to io.Writer, now func() balancer.Micros) *Log { return &Log{now: now, to: to} }
+func NewLog(to io.Writer, now func() monotime.Micros) *Log { return &Log{now: now, to: to} }
 
 func (l *Log) write(e Event) {
 	if e.At == 0 {
@@ -126,22 +127,22 @@
 var states = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
 
 // Sent notes that an attempt started.
-func (l *Log) Sent(now balancer.Micros, endpoint string) {
+func (l *Log) Sent(now monotime.Micros, endpoint string) {
 	l.write(Event{At: now, Kind: Sent, Endpoint: endpoint})
 }
 
 // Ended notes an attempt's outcome.
-func (l *Log) Ended(now balancer.Micros, endpoint string, s balancer.Status, latency balancer.Micros) {
+func (l *Log) Ended(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Ended, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
 // Probed notes a probe's outcome.
-func (l *Log) Probed(now balancer.Micros, endpoint string, s balancer.Status, latency balancer.Micros) {
+func (l *Log) Probed(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Probed, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
 // Told notes news of the list, an event for each entry. What a whole list leaves out is the reader's to see.
-func (l *Log) Told(now balancer.Micros, t engine.Told) {
+func (l *Log) Told(now monotime.Micros, t engine.Told) {
 	for _, m := range t.Members {
 		l.write(Event{At: now, Kind: Told, Endpoint: m.Name, Addr: m.Addr, Status: states[m.State]})
 	}
--- a/internal/eventlog/events_test.go
+++ b/internal/eventlog/events_test.go
@@ -8,12 +8,13 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 )
 
 // What is written is read again, among other lines and behind a collector's time; half a line is an error that names it.
 func TestWrittenAndRead(t *testing.T) {
 	var out bytes.Buffer
-	l := NewLog(&out, func() balancer.Micros { return 7 })
+	l := NewLog(&out, func() monotime.Micros { return 7 })
 	l.Sent(1, "s 1")
 	l.Ended(2, "s-1", balancer.Reset, 55)
 	l.Told(3, engine.Told{Members: []engine.Member{{Name: "s-2", State: balancer.Gone}}})
@@ -42,17 +43,17 @@
 
 // Two instances: an endpoint that fails most for three seconds, one that comes, one that goes while it is still asked.
 func TestCount(t *testing.T) {
-	told := func(at balancer.Micros, name, state string) Event {
+	told := func(at monotime.Micros, name, state string) Event {
 		return Event{At: at, Kind: Told, Endpoint: name, Addr: name + ":1", Status: state}
 	}
-	ended := func(at balancer.Micros, name, status string) Event {
+	ended := func(at monotime.Micros, name, status string) Event {
 		return Event{At: at, Kind: Ended, Endpoint: name, Status: status}
 	}
 	var a, b []Event
 	a = append(a, told(1, "bad", "ready"), told(1, "goes", "ready"), Event{At: 2, Kind: Dialed, Endpoint: "bad:1", Status: "ok"})
 	b = append(b, told(1, "bad", "ready"), told(1, "goes", "ready"), Event{At: 2, Kind: Dialed, Endpoint: "bad:1", Status: "ok"},
 		Event{At: 3, Kind: Closed, Endpoint: "bad:1"})
-	for i := range balancer.Micros(6) {
+	for i := range monotime.Micros(6) {
 		a = append(a, ended(4*second+i*second/2, "bad", "error"))
 	}
 	b = append(b, ended(4*second+1, "bad", "error"), ended(4*second+2, "bad", "ok"), ended(7*second, "goes", "reset"))
--- a/internal/eventlog/golden_test.go
+++ b/internal/eventlog/golden_test.go
@@ -11,6 +11,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 )
 
 // goldenLog is what a build wrote before names in this package changed. It is never written anew.
@@ -44,13 +45,13 @@
 func writeGoldenEvents(t *testing.T) []byte {
 	t.Helper()
 	var out bytes.Buffer
-	l := NewLog(&out, func() balancer.Micros { return 77 })
+	l := NewLog(&out, func() monotime.Micros { return 77 })
 	l.Sent(1, "node-1")
 	l.Sent(2, "node with blanks")
 	outcomes := []balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed,
 		balancer.Reset, balancer.Cancelled, balancer.Moot}
 	for i, s := range outcomes {
-		l.Ended(balancer.Micros(10+i), "node-1", s, balancer.Micros(1001+i))
+		l.Ended(monotime.Micros(10+i), "node-1", s, monotime.Micros(1001+i))
 	}
 	l.Probed(20, "node-2", balancer.OK, 55)
 	l.Probed(21, "node-2", balancer.Timeout, 56)
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -31,6 +31,7 @@
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/freeport"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/scenario"
@@ -39,9 +40,6 @@
 	"dunlinsail/internal/siteconfig"
 )
 
-// Micros is an instant or a duration in microseconds; a run begins at 0.
-type Micros = int64
-
 // Options say what is played.
 type Options struct {
 	Plan     *scenario.Plan
@@ -79,14 +77,14 @@
 	mu      sync.Mutex
 	counts  counts
 	cuts    [][2]int
-	stale   Micros
+	stale   monotime.Micros
 	silent  bool
 	noise   *randstream.Stream
 	luck    *randstream.Stream
 	callers *randstream.Stream
 	draws   *randstream.Stream
 	changes uint64
-	last    []Micros
+	last    []monotime.Micros
 	stories map[uint64]*story
 	meter   *measure.Meter
 	open    sync.WaitGroup
@@ -117,7 +115,7 @@
 const lateMost = 50_000
 
 // now is the instant of the run.
-func (r *run) now() Micros { return time.Since(r.base).Microseconds() - r.offset.Load() }
+func (r *run) now() monotime.Micros { return time.Since(r.base).Microseconds() - r.offset.Load() }
 
 // coarse is how late a timer of Go's may ring where nothing else goes on: its poller counts in milliseconds.
 const coarse = 1200 * time.Microsecond
@@ -134,7 +132,7 @@
 }
 
 // time is when an instant of the run is.
-func (r *run) time(at Micros) time.Time {
+func (r *run) time(at monotime.Micros) time.Time {
 	return r.base.Add(time.Duration(at+r.offset.Load()) * time.Microsecond)
 }
 
@@ -160,7 +158,7 @@
 // group returns that of a cell.
 func (r *run) group(cell int) *group {
 	if r.groups[cell] == nil {
-		var window Micros
+		var window monotime.Micros
 		for _, c := range r.o.Judge.Classes {
 			if c.Repeat == balancer.Keyed {
 				window = max(window, c.Window)
@@ -178,7 +176,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	r := &run{work: &labour{working: map[int]bool{}}, o: o, plan: o.Plan, own: own, site: &own.Site, habits: o.Plan.Habits(), groups: map[int]*group{}, reports: rand.New(&locked{src: rand.NewPCG(o.Plan.Seed, 5)}),
-		stories: map[uint64]*story{}, last: make([]Micros, len(o.Plan.Nodes))}
+		stories: map[uint64]*story{}, last: make([]monotime.Micros, len(o.Plan.Nodes))}
 	seed := o.Plan.Seed
 	r.noise, r.luck, r.callers, r.draws = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "discovery")
 	if err := r.fit(); err != nil {
@@ -345,7 +343,7 @@
 // ---- Instances ---------------------------------------------------------------------
 
 // entry is an endpoint's entry for an instance.
-func (r *run) entry(n, instance int, lifecycle string, started Micros) discovery.Instance {
+func (r *run) entry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
 	p := &r.plan.Nodes[n]
 	e := discovery.Instance{ID: p.Name, Addr: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.Nodes[p.Kind].Kind,
 		Cell: uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
@@ -358,7 +356,7 @@
 // entries are those of all endpoints for an instance, as the run begins.
 func (r *run) entries(instance int) (all []discovery.Instance) {
 	for i := range r.plan.Nodes {
-		started := Micros(0)
+		started := monotime.Micros(0)
 		if r.plan.Nodes[i].Cold {
 			started = 1
 		}
@@ -547,7 +545,7 @@
 }
 
 // freeze stops instances (SIGSTOP): they keep what they hold, and do nothing.
-func (r *run) freeze(instances []int, until Micros) {
+func (r *run) freeze(instances []int, until monotime.Micros) {
 	for _, n := range instances {
 		in := r.instances[n]
 		in.thawed.Store(max(in.thawed.Load(), until+frozenSlack))
@@ -612,7 +610,7 @@
 	r.changes++
 	now := r.now()
 	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
-	heard := now + Micros(lo+(hi-lo)*r.draws.For(uint64(n), r.changes).Float64()) + r.stale
+	heard := now + monotime.Micros(lo+(hi-lo)*r.draws.For(uint64(n), r.changes).Float64()) + r.stale
 	heard = max(heard, r.last[n]+1)
 	r.last[n] = heard
 	time.AfterFunc(time.Duration(heard-now)*time.Microsecond, func() {
@@ -630,9 +628,9 @@
 	class   *balancer.Class
 	worth   float64
 	within  bool
-	worked  Micros      // by its latest attempt that ran
-	effects map[int]int // of each try
-	count   map[int]int // attempts of each try that reached an endpoint
+	worked  monotime.Micros // by its latest attempt that ran
+	effects map[int]int     // of each try
+	count   map[int]int     // attempts of each try that reached an endpoint
 }
 
 // job is a request at an endpoint.
@@ -754,7 +752,7 @@
 }
 
 // try makes one request and waits for what comes of it.
-func (r *run) try(ctx context.Context, s *story, t simclient.Try) (simclient.Verdict, Micros) {
+func (r *run) try(ctx context.Context, s *story, t simclient.Try) (simclient.Verdict, monotime.Micros) {
 	began := r.now()
 	r.count(func(*counts) { r.meter.Costs.Tries++ })
 	// A client that waits to the end is there a little longer, to see whether an answer that is owed comes at all.
@@ -812,7 +810,7 @@
 		if text := resp.Header.Get("Retry-After"); text != "" {
 			after, _ = strconv.ParseFloat(text, 64)
 		}
-		return simclient.Refused, Micros(after * 1e6)
+		return simclient.Refused, monotime.Micros(after * 1e6)
 	}
 	return simclient.Failed, 0
 }
@@ -862,7 +860,7 @@
 }
 
 // at calls f at an instant, unless the run has ended by then.
-func (r *run) at(ctx context.Context, beside *sync.WaitGroup, at Micros, f func()) {
+func (r *run) at(ctx context.Context, beside *sync.WaitGroup, at monotime.Micros, f func()) {
 	beside.Go(func() {
 		timer := time.NewTimer(time.Until(r.time(at)))
 		defer timer.Stop()
@@ -927,7 +925,7 @@
 			over(each(up))
 		case "rolling":
 			for k, n := range h.Nodes {
-				if at := h.At + Micros(k)*h.Every; at < min(h.Until, end) {
+				if at := h.At + monotime.Micros(k)*h.Every; at < min(h.Until, end) {
 					r.at(ctx, beside, at, func() { r.endpoints[n].drain() })
 					r.at(ctx, beside, at+h.Every, func() { up(n) })
 				}
@@ -1045,9 +1043,9 @@
 func (r *run) pauses(ctx context.Context, n int) {
 	p := r.endpoints[n].plan
 	stream := randstream.New(r.plan.Seed, "pauses")
-	at := Micros(0)
+	at := monotime.Micros(0)
 	for k := uint64(1); ; k++ {
-		at += 1 + Micros(stream.For(uint64(n), k).ExpFloat64()*float64(p.PauseEvery))
+		at += 1 + monotime.Micros(stream.For(uint64(n), k).ExpFloat64()*float64(p.PauseEvery))
 		if at >= r.plan.Length.Micros() {
 			return
 		}
@@ -1058,6 +1056,6 @@
 			timer.Stop()
 			return
 		}
-		r.endpoints[n].pause(Micros(stream.For(uint64(n), k, 1).ExpFloat64() * float64(p.PauseFor)))
+		r.endpoints[n].pause(monotime.Micros(stream.For(uint64(n), k, 1).ExpFloat64() * float64(p.PauseFor)))
 	}
 }
--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/node.go
@@ -16,6 +16,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/fake/freeport"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/scenario"
 	"dunlinsail/internal/simulation/simendpoint"
@@ -30,7 +31,7 @@
 	mu       *sync.Mutex // of its group
 	node     *simendpoint.Node
 	timer    *time.Timer
-	due      Micros // when the next request ends
+	due      monotime.Micros // when the next request ends
 	draining bool
 	mute     bool // its machine has vanished: it takes what comes, and says nothing
 	runs     int64
@@ -204,7 +205,7 @@
 }
 
 // pause stops it for a while.
-func (e *endpoint) pause(length Micros) {
+func (e *endpoint) pause(length monotime.Micros) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.work()
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -24,6 +24,7 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/fake/freeport"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/peers"
 	"dunlinsail/internal/simulation"
 )
@@ -93,7 +94,7 @@
 		text := bytes.Clone(b[:n])
 		y.later(more, func() { out.Write(text) })
 		if twice {
-			y.later(Micros(rand.Float64()*float64(more)), func() { out.Write(text) })
+			y.later(monotime.Micros(rand.Float64()*float64(more)), func() { out.Write(text) })
 		}
 	}
 }
@@ -109,7 +110,7 @@
 }
 
 // later does something after a while, unless the run is over by then.
-func (y *relay) later(after Micros, do func()) {
+func (y *relay) later(after monotime.Micros, do func()) {
 	time.AfterFunc(time.Duration(after)*time.Microsecond, do)
 }
 
--- a/internal/experiment/processes/work.go
+++ b/internal/experiment/processes/work.go
@@ -13,6 +13,7 @@
 	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/fake/freeport"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation"
 	"dunlinsail/internal/simulation/scenario"
 )
@@ -27,8 +28,8 @@
 	sent    int          // requests that reached one
 	done    int          // machines that are back
 	asked   int
-	took    Micros // until all were
-	freed   []Micros
+	took    monotime.Micros // until all were
+	freed   []monotime.Micros
 }
 
 // atWork counts a request at a machine that is at work.
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -20,12 +20,12 @@
 	"syscall"
 	"time"
 
-	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/http1msg"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
@@ -150,7 +150,7 @@
 func (f *Front) GiveUpHalves() int { return f.conns.hushHalves() }
 
 // EndBy has each request that is taken from now on answered by an instant: the process ends then, whatever is open.
-func (f *Front) EndBy(at balancer.Micros) { f.endBy.Store(at) }
+func (f *Front) EndBy(at monotime.Micros) { f.endBy.Store(at) }
 
 // closes says whether an answer that is to be written now is the last on its connection. While all are to close, those whose
 // client has sent a next request, or begun to, are answered once more, as long as there is time for it: what came whole
--- a/internal/frontend/http1/record.go
+++ b/internal/frontend/http1/record.go
@@ -3,15 +3,15 @@
 import (
 	"net/http"
 
-	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 )
 
 // Exchange is what is told of a client's request that is over, to whoever keeps a record (Options.Record).
 type Exchange struct {
-	Arrived, Ended balancer.Micros
-	Patience       balancer.Micros // how long its client waits
+	Arrived, Ended monotime.Micros
+	Patience       monotime.Micros // how long its client waits
 	Client, Route  string          // by their names
 	Class          uint8
 	Tenant         uint16
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,8 +16,8 @@
 	"strings"
 	"time"
 
-	"dunlinsail/balancer"
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/wire"
 )
@@ -178,7 +178,7 @@
 			How    string   `json:"how"`
 		} `json:"reporting"`
 		Limits struct {
-			KeepAlive balancer.Micros `json:"keepalive"`
+			KeepAlive monotime.Micros `json:"keepalive"`
 		} `json:"limits"`
 	}
 	if err := json.Unmarshal(raw, &names); err != nil {
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -15,6 +15,7 @@
 	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/takeover"
 )
@@ -147,7 +148,7 @@
 	})
 }
 
-func now() decide.Micros { return takeover.Monotonic() }
+func now() monotime.Micros { return takeover.Monotonic() }
 
 func (l *course) end(err error) {
 	if !l.ended {
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -6,6 +6,7 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simendpoint"
 )
@@ -15,19 +16,19 @@
 	run    *run
 	heard  []engine.Member // as discovery has it
 	gen    int64
-	stale  Micros // what it hears comes later by this
-	silent bool   // it says nothing
+	stale  monotime.Micros // what it hears comes later by this
+	silent bool            // it says nothing
 	held   []*news
 	groups map[int]*simendpoint.Group
 	draws  *randstream.Stream
 	count  uint64
 	all    []engine.Member // the whole list of a generation
 	allGen int64
-	last   []Micros // when its last word of each endpoint was heard
+	last   []monotime.Micros // when its last word of each endpoint was heard
 }
 
 func newTruth(r *run) *truth {
-	t := &truth{run: r, groups: map[int]*simendpoint.Group{}, draws: randstream.New(r.plan.Seed, "discovery"), gen: 1, last: make([]Micros, len(r.plan.Nodes))}
+	t := &truth{run: r, groups: map[int]*simendpoint.Group{}, draws: randstream.New(r.plan.Seed, "discovery"), gen: 1, last: make([]monotime.Micros, len(r.plan.Nodes))}
 	for i := range r.plan.Nodes {
 		m := t.member(i, balancer.Ready)
 		if r.plan.Nodes[i].Cold {
@@ -41,7 +42,7 @@
 // group returns the endpoints that share which keys they have seen: for as long as the longest window of a class.
 func (t *truth) group(cell int) *simendpoint.Group {
 	if t.groups[cell] == nil {
-		var window Micros
+		var window monotime.Micros
 		for _, c := range t.run.o.Judge.Classes {
 			if c.Repeat == balancer.Keyed {
 				window = max(window, c.Window)
@@ -81,7 +82,7 @@
 	}
 	t.count++
 	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
-	heard := r.now + Micros(lo+(hi-lo)*t.draws.For(uint64(n), t.count).Float64()) + t.stale
+	heard := r.now + monotime.Micros(lo+(hi-lo)*t.draws.For(uint64(n), t.count).Float64()) + t.stale
 	heard = max(heard, t.last[n]+1) // its words keep their order
 	t.last[n] = heard
 	m := t.member(n, state)
@@ -113,7 +114,7 @@
 func (t *truth) send(x *news) {
 	in := x.in
 	spread := float64(t.run.plan.Discovery.Spread.Micros())
-	in.last = max(in.last+1, t.run.now+1+Micros(spread*t.draws.For(uint64(in.n)|1<<62, uint64(t.gen)).Float64()))
+	in.last = max(in.last+1, t.run.now+1+monotime.Micros(spread*t.draws.For(uint64(in.n)|1<<62, uint64(t.gen)).Float64()))
 	t.run.queue.push(in.last, evTold, 0, x)
 }
 
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simendpoint"
 )
@@ -11,9 +12,9 @@
 	run  *run
 	n    int
 	node *simendpoint.Node
-	life uint32 // changes at each start
-	mute bool   // its machine has vanished: nothing is heard of it
-	at   Micros // the instant of the event that is scheduled; 0 is none
+	life uint32          // changes at each start
+	mute bool            // its machine has vanished: nothing is heard of it
+	at   monotime.Micros // the instant of the event that is scheduled; 0 is none
 	runs int64
 	most int
 
@@ -72,7 +73,7 @@
 	}
 }
 
-func (e *endpoint) woken(at Micros) {
+func (e *endpoint) woken(at monotime.Micros) {
 	if e.at != at {
 		return
 	}
@@ -185,7 +186,7 @@
 	p := &e.run.plan.Nodes[e.n]
 	e.groups++
 	r := randstream.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups)
-	e.run.queue.push(e.run.now+1+Micros(r.ExpFloat64()*float64(p.PauseEvery)), evPause, uint32(e.n), nil)
+	e.run.queue.push(e.run.now+1+monotime.Micros(r.ExpFloat64()*float64(p.PauseEvery)), evPause, uint32(e.n), nil)
 }
 
 func (e *endpoint) pause() {
@@ -193,7 +194,7 @@
 	r := randstream.New(e.run.plan.Seed, "pauses").For(uint64(e.n), e.groups, 1)
 	e.work()
 	if e.node.Up() {
-		e.node.Pause(e.run.now, Micros(r.ExpFloat64()*float64(p.PauseFor)))
+		e.node.Pause(e.run.now, monotime.Micros(r.ExpFloat64()*float64(p.PauseFor)))
 	}
 	if e.run.now < e.run.plan.Length.Micros() {
 		e.nextPause()
--- a/internal/simulation/gossipsim/talk.go
+++ b/internal/simulation/gossipsim/talk.go
@@ -13,12 +13,10 @@
 
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
 )
 
-// Micros is an instant or a duration of true time in microseconds; a run begins at 0.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Settings say what is played.
 type Settings struct {
@@ -26,7 +24,7 @@
 	Lenders int
 	Units   float64 // of the one budget
 	Demand  float64 // of all together, in units a second
-	Length  Micros
+	Length  monotime.Micros
 	Seed    uint64
 	Fleet   coordination.Settings       // of each: names and seeds are filled in
 	Size    func(coordination.Word) int // of a word as it is carried; nil counts words alone
@@ -42,9 +40,9 @@
 // Fault is something that goes wrong.
 type Fault struct {
 	What   string // Faults has them
-	At     Micros
-	For    Micros // 0 is to the end
-	Of     []int  // members
+	At     monotime.Micros
+	For    monotime.Micros // 0 is to the end
+	Of     []int           // members
 	Factor float64
 }
 
@@ -75,15 +73,15 @@
 // Result is what a run came to.
 type Result struct {
 	Worst    int // units spent within any second, at most
-	WorstAt  Micros
+	WorstAt  monotime.Micros
 	Breaches int // units that were beyond the budget
 	Use      float64
 	Seconds  []Second
 	Words    float64 // a second, of a member that keeps no book
 	Bytes    float64
-	BookOut  float64 // words a second of the one that keeps the book
-	BookSize float64 // and bytes
-	Settled  Micros  // until nine tenths of the budget were spent in a second for the first time
+	BookOut  float64         // words a second of the one that keeps the book
+	BookSize float64         // and bytes
+	Settled  monotime.Micros // until nine tenths of the budget were spent in a second for the first time
 }
 
 type member struct {
@@ -91,26 +89,28 @@
 	name   string
 	m      *coordination.Member
 	up     bool
-	asleep Micros // until then
+	asleep monotime.Micros // until then
 	rate   float64
 	zero   float64 // true instant at which its clock is 0
 	wants  float64 // units a second
 	says   float64 // times what it wants
 	units  float64
 	life   uint64
-	wakeAt Micros
+	wakeAt monotime.Micros
 	words  int
 	bytes  int
 }
 
-func (x *member) clock(at Micros) Micros { return Micros((float64(at) - x.zero) * x.rate) }
+func (x *member) clock(at monotime.Micros) monotime.Micros {
+	return monotime.Micros((float64(at) - x.zero) * x.rate)
+}
 
-func (x *member) world(local Micros) Micros {
-	return Micros(math.Ceil(float64(local)/x.rate + x.zero))
+func (x *member) world(local monotime.Micros) monotime.Micros {
+	return monotime.Micros(math.Ceil(float64(local)/x.rate + x.zero))
 }
 
 type event struct {
-	at    Micros
+	at    monotime.Micros
 	order uint64
 	do    func()
 }
@@ -134,14 +134,14 @@
 type world struct {
 	s       Settings
 	rng     *rand.Rand
-	now     Micros
+	now     monotime.Micros
 	order   uint64
 	queue   events
 	members []*member
 	byName  map[string]*member
 	lenders []string
 	active  []*Fault
-	spent   []Micros // within the last second
+	spent   []monotime.Micros // within the last second
 	result  Result
 	lives   uint64
 }
@@ -186,7 +186,7 @@
 
 func name(i int) string { return fmt.Sprint("instance-", i) }
 
-func (w *world) after(d Micros, do func()) {
+func (w *world) after(d monotime.Micros, do func()) {
 	w.order++
 	heap.Push(&w.queue, event{w.now + max(0, d), w.order, do})
 }
@@ -271,7 +271,7 @@
 	if to == nil {
 		return
 	}
-	delay, copies := Micros(200+1000*w.rng.ExpFloat64()), 1
+	delay, copies := monotime.Micros(200+1000*w.rng.ExpFloat64()), 1
 	for _, f := range w.active {
 		switch f.What {
 		case "lossy":
@@ -282,11 +282,11 @@
 				copies++
 			}
 			if w.rng.Float64() < f.Factor {
-				delay += Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Loans.Length))
+				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Loans.Length))
 			}
 		case "slow":
 			if slices.Contains(f.Of, from.n) {
-				delay += Micros(f.Factor * float64(w.s.Fleet.Loans.Length))
+				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Loans.Length))
 			}
 		}
 	}
@@ -349,7 +349,7 @@
 	if x.wants <= 0 {
 		return
 	}
-	w.after(Micros(w.rng.ExpFloat64()/x.wants*float64(second)), func() {
+	w.after(monotime.Micros(w.rng.ExpFloat64()/x.wants*float64(second)), func() {
 		w.want(x)
 		w.demand(x)
 	})
@@ -426,7 +426,7 @@
 		}
 	}
 	if f.What == "kills" {
-		every := Micros(f.Factor * float64(second))
+		every := monotime.Micros(f.Factor * float64(second))
 		var turn func()
 		turn = func() {
 			if w.now >= f.At+until {
@@ -502,7 +502,7 @@
 		could += min(s.Wanted, most)
 		spent += min(s.Spent, most)
 		if r.Settled == 0 && 10*s.Spent >= 9*min(s.Wanted, most) {
-			r.Settled = Micros(i+1) * second
+			r.Settled = monotime.Micros(i+1) * second
 		}
 	}
 	r.Use = 1
@@ -567,7 +567,7 @@
 }
 
 // Random draws what goes wrong: up to eight faults of any kind.
-func Random(seed uint64, members int, length Micros) (all []Fault) {
+func Random(seed uint64, members int, length monotime.Micros) (all []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 13))
 	kinds := make([]string, 0, len(Faults))
 	for what := range Faults {
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -10,6 +10,7 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
@@ -25,15 +26,15 @@
 	life uint32 // changes at each start: what belongs to an earlier one is passed over
 	down bool
 
-	frozen Micros  // it is stopped until then
-	deaf   int     // what keeps discovery's words from it
-	held   []*news // meanwhile
+	frozen monotime.Micros // it is stopped until then
+	deaf   int             // what keeps discovery's words from it
+	held   []*news         // meanwhile
 
 	engine  *engine.Engine
 	pool    *engine.Pool
 	clients []*engine.Client // of each process
 	site    siteconfig.Site
-	wakeAt  Micros // the instant of the wake that is scheduled; 0 is none
+	wakeAt  monotime.Micros // the instant of the wake that is scheduled; 0 is none
 	seed    uint64
 
 	table    *connlimit.Table[*clientConn]
@@ -48,8 +49,8 @@
 	stories func() (simclient.Story, bool)
 	next    simclient.Story
 	probes  uint64
-	told    map[int]Micros // endpoints that this instance knows to be draining or gone, since when
-	last    Micros         // when discovery's last word will be here
+	told    map[int]monotime.Micros // endpoints that this instance knows to be draining or gone, since when
+	last    monotime.Micros         // when discovery's last word will be here
 	gen     int64
 }
 
@@ -59,7 +60,7 @@
 // kept is a connection to an endpoint that is kept.
 type kept struct {
 	life  uint32 // the endpoint's when it was opened
-	since Micros
+	since monotime.Micros
 }
 
 func newInstance(r *run, n int) (*instance, error) {
@@ -90,7 +91,7 @@
 func (in *instance) create() error {
 	r := in.run
 	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.life), Sharing: r.settings.Sharing, Host: in,
-		Spent: func(_ Micros, budget string) { r.meter.Spent(r.now, budget) }})
+		Spent: func(_ monotime.Micros, budget string) { r.meter.Spent(r.now, budget) }})
 	if err := in.join(); err != nil {
 		return err
 	}
@@ -127,7 +128,7 @@
 		in.resting = append(in.resting, nil)
 	}
 	in.open, in.listed = nil, false
-	in.upstream, in.conns, in.told = map[int][]kept{}, 0, map[int]Micros{}
+	in.upstream, in.conns, in.told = map[int][]kept{}, 0, map[int]monotime.Micros{}
 	return nil
 }
 
@@ -158,17 +159,17 @@
 }
 
 // local is what the instance's clock tells.
-func (in *instance) local() Micros { return in.clock(in.run.now) }
+func (in *instance) local() monotime.Micros { return in.clock(in.run.now) }
 
-func (in *instance) clock(at Micros) Micros {
+func (in *instance) clock(at monotime.Micros) monotime.Micros {
 	p := &in.run.plan.Instances[in.n]
-	return clockOrigin + p.Skew + at + Micros(p.Drift*float64(at))
+	return clockOrigin + p.Skew + at + monotime.Micros(p.Drift*float64(at))
 }
 
 // world is when the instance's clock will tell an instant, at the earliest.
-func (in *instance) world(local Micros) Micros {
+func (in *instance) world(local monotime.Micros) monotime.Micros {
 	p := &in.run.plan.Instances[in.n]
-	at := Micros(float64(local-clockOrigin-p.Skew) / (1 + p.Drift))
+	at := monotime.Micros(float64(local-clockOrigin-p.Skew) / (1 + p.Drift))
 	for in.clock(at) < local {
 		at++
 	}
@@ -193,7 +194,7 @@
 	}
 }
 
-func (in *instance) woken(at Micros) {
+func (in *instance) woken(at monotime.Micros) {
 	if in.down || in.wakeAt != at {
 		return
 	}
@@ -387,7 +388,7 @@
 func (in *instance) Warn(line string, args ...any) { in.Log(line, args...) }
 
 // overhead is what a request spends in the process on each side of its attempts.
-func (in *instance) overhead() Micros { return in.run.plan.Host.Overhead.Micros() / 2 }
+func (in *instance) overhead() monotime.Micros { return in.run.plan.Host.Overhead.Micros() / 2 }
 
 // ---- Attempts --------------------------------------------------------------
 
@@ -409,7 +410,7 @@
 	try     *try
 	life    uint32 // of the instance
 	conn    uint32 // life of the endpoint that its connection belongs to
-	began   Micros
+	began   monotime.Micros
 	phase   phase
 	job     simendpoint.Job
 	status  balancer.Status
@@ -428,7 +429,7 @@
 }
 
 // way is how long a message between the instance and the endpoint takes.
-func (s *sending) way(what uint64) Micros {
+func (s *sending) way(what uint64) monotime.Micros {
 	who, which := s.who()
 	r := s.in.run
 	return r.network.between(s.in.zone, s.to.zone(), who, which, what) + r.plan.Lag(r.now, s.in.n, s.to.n)
@@ -440,7 +441,7 @@
 	all := in.upstream[s.to.n]
 	idle := r.settings.Site.KeepAlive.Microseconds() * 2 / 3
 	if in.rest > 0 && in.rest < 1 {
-		idle = Micros(float64(idle) * in.rest) // as upstream.Pool.Rest has it
+		idle = monotime.Micros(float64(idle) * in.rest) // as upstream.Pool.Rest has it
 	}
 	for len(all) > 0 {
 		k := all[len(all)-1]
@@ -700,7 +701,7 @@
 	pool  *engine.Pool
 	life  uint32
 	n     uint64
-	sent  Micros // the instance's clock
+	sent  monotime.Micros // the instance's clock
 	reply engine.Reply
 }
 
@@ -716,7 +717,7 @@
 	r.queue.push(r.now+in.overhead()+p.way(0), evProbe, 0, p)
 }
 
-func (p *probe) way(what uint64) Micros {
+func (p *probe) way(what uint64) monotime.Micros {
 	r := p.in.run
 	return r.network.between(p.in.zone, p.to.zone(), uint64(p.in.n)|1<<63, p.n, what) + r.plan.Lag(r.now, p.in.n, p.to.n)
 }
--- a/internal/simulation/measure/arrivals.go
+++ b/internal/simulation/measure/arrivals.go
@@ -1,5 +1,7 @@
 package measure
 
+import "dunlinsail/internal/monotime"
+
 // Arrival is what comes at an endpoint.
 type Arrival uint8
 
@@ -25,15 +27,15 @@
 // arrivals counts what comes at endpoints, second by second.
 type arrivals struct {
 	seconds       []Second
-	probes, dials [][]uint32 // by second and endpoint
-	from, until   Micros     // when what goes wrong begins, and has ended
+	probes, dials [][]uint32      // by second and endpoint
+	from, until   monotime.Micros // when what goes wrong begins, and has ended
 }
 
 // Arrived tells what came at an endpoint at an instant.
-func (m *Meter) Arrived(now Micros, node int, what Arrival) {
+func (m *Meter) Arrived(now monotime.Micros, node int, what Arrival) {
 	a := &m.arrived
 	n := now / second
-	if n < 0 || n >= Micros(len(a.seconds)) {
+	if n < 0 || n >= monotime.Micros(len(a.seconds)) {
 		return
 	}
 	s := &a.seconds[n]
@@ -52,7 +54,7 @@
 }
 
 // one counts one more of a second at an endpoint, and returns how many there are. They need not come in order.
-func one(all [][]uint32, n Micros, node int) int {
+func one(all [][]uint32, n monotime.Micros, node int) int {
 	for len(all[n]) <= node {
 		all[n] = append(all[n], 0)
 	}
@@ -61,7 +63,7 @@
 }
 
 // Cause tells when what goes wrong begins, and when all of it has ended.
-func (m *Meter) Cause(from, until Micros) { m.arrived.from, m.arrived.until = from, until }
+func (m *Meter) Cause(from, until monotime.Micros) { m.arrived.from, m.arrived.until = from, until }
 
 const (
 	firstLeast = 100        // first attempts in a second from which on a part of them says something
@@ -84,16 +86,16 @@
 	f["further_peak"] += 0 // a figure, also where nothing came
 	f["probes_first"] = float64(probes) / max(1, float64(first))
 	f["back"] = 1
-	before, after := sum(worth, 0, a.from), sum(worth, a.until+backAfter, Micros(len(worth))*second)
+	before, after := sum(worth, 0, a.from), sum(worth, a.until+backAfter, monotime.Micros(len(worth))*second)
 	if a.until > 0 && before.asked > 0 && after.asked > 0 {
 		f["back"] = min(1, after.share()/max(1e-9, before.share()))
 	}
 }
 
 // sum is the worth of the seconds that lie within.
-func sum(worth []worths, from, until Micros) (w worths) {
+func sum(worth []worths, from, until monotime.Micros) (w worths) {
 	for i := range worth {
-		if at := Micros(i) * second; at >= from && at+second <= until {
+		if at := monotime.Micros(i) * second; at >= from && at+second <= until {
 			w.add(worth[i].asked, worth[i].earned)
 		}
 	}
--- a/internal/simulation/measure/faults_test.go
+++ b/internal/simulation/measure/faults_test.go
@@ -5,21 +5,22 @@
 	"testing"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/simclient"
 )
 
 // judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve says, by
 // second and class, whether its stories are served.
-func judged(serve func(second, class int) bool, reached func(instance int, at Micros) bool, arrive func(m *Meter)) map[string]float64 {
+func judged(serve func(second, class int) bool, reached func(instance int, at monotime.Micros) bool, arrive func(m *Meter)) map[string]float64 {
 	m := New(Judge{Classes: []balancer.Class{{Name: "a", Aim: 200_000, Worth: 10}, {Name: "b", Aim: 200_000, Worth: 1}}}, 10*second, 1)
-	m.World(World{Capacity: func(Micros) float64 { return 0.1 }, Reached: reached}) // a tenth of a second's work in a second
+	m.World(World{Capacity: func(monotime.Micros) float64 { return 0.1 }, Reached: reached}) // a tenth of a second's work in a second
 	m.Cause(3*second, 4*second)
 	id := uint64(0)
 	for s := range 10 {
 		for class := range 2 {
 			for i := range 10 { // of 10 ms each: both classes ask for all that can be done
 				id++
-				x := simclient.Story{ID: id, Class: class, Tenant: -1, Began: Micros(s)*second + Micros(i)*50_000, Work: 10_000, Outcome: simclient.GivenUp}
+				x := simclient.Story{ID: id, Class: class, Tenant: -1, Began: monotime.Micros(s)*second + monotime.Micros(i)*50_000, Work: 10_000, Outcome: simclient.GivenUp}
 				x.Ended = x.Began + 50_000
 				if serve(s, class) {
 					x.Outcome = simclient.Served
@@ -35,7 +36,7 @@
 	return m.Result().Figures
 }
 
-func always(int, Micros) bool { return true }
+func always(int, monotime.Micros) bool { return true }
 
 // Each of what must not be is found where it is planted, and not where it is not.
 func TestFiguresFindWhatIsPlanted(t *testing.T) {
@@ -55,19 +56,19 @@
 	worse := judged(func(s, class int) bool { return class == 0 && s < 8 }, always, nil) // from 3 s after the cause's end it is gone
 	near("back", worse["back"], 0.333)
 	gone := judged(func(s, class int) bool { return class == 0 && s != 5 },
-		func(_ int, at Micros) bool { return at/second != 5 }, nil) // what nobody could take is held against nobody
+		func(_ int, at monotime.Micros) bool { return at/second != 5 }, nil) // what nobody could take is held against nobody
 	near("of_could", gone["of_could"], 1)
 
 	arrived := judged(func(int, int) bool { return true }, always, func(m *Meter) {
-		for s := range Micros(10) {
+		for s := range monotime.Micros(10) {
 			for i := range 200 {
 				m.Arrived(s*second, i%4, First)
 			}
 		}
 		for i := range 30 {
-			m.Arrived(6*second+Micros(i), 1, Further)
-			m.Arrived(7*second+Micros(i), 2, Probe)
-			m.Arrived(7*second+Micros(i), 3, Dial)
+			m.Arrived(6*second+monotime.Micros(i), 1, Further)
+			m.Arrived(7*second+monotime.Micros(i), 2, Probe)
+			m.Arrived(7*second+monotime.Micros(i), 3, Dial)
 		}
 		m.Arrived(99*second, 1, Further) // after the end it counts for nothing
 	})
@@ -80,7 +81,7 @@
 // What is spent is counted in any second, over all who tell of it, in whatever order they do.
 func TestSpent(t *testing.T) {
 	m := New(Judge{Tenants: []balancer.Tenant{{Name: "t"}}, Limits: map[string]float64{"t": 3}}, 10*second, 1)
-	for _, at := range []Micros{900, 1500, 2100, 5000, 1901, 5999, 6000} { // by several, one after another
+	for _, at := range []monotime.Micros{900, 1500, 2100, 5000, 1901, 5999, 6000} { // by several, one after another
 		m.Spent(at*1000, "tenant/t")
 	}
 	if f := m.Result().Figures; f["over_budget"] != 1 || f["beyond_limit"] != 0 {
--- a/internal/simulation/measure/measure.go
+++ b/internal/simulation/measure/measure.go
@@ -15,13 +15,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// Micros is an instant or a duration in microseconds.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Judge is by what a run is judged.
 type Judge struct {
@@ -64,9 +62,9 @@
 // Meter judges one run. Make one with New.
 type Meter struct {
 	judge Judge
-	end   Micros
+	end   monotime.Micros
 
-	bin     Micros
+	bin     monotime.Micros
 	bins    []bin
 	buckets []bucket // of tenants' allowances
 	classes []part
@@ -103,7 +101,7 @@
 
 type bucket struct {
 	level float64
-	at    Micros
+	at    monotime.Micros
 }
 
 type bin struct {
@@ -115,7 +113,7 @@
 }
 
 // New returns a meter of a run in which stories begin before an instant.
-func New(j Judge, length Micros, zones int) *Meter {
+func New(j Judge, length monotime.Micros, zones int) *Meter {
 	m := &Meter{judge: j, end: length, digest: xxhash.New(), clients: map[[2]int]*client{}}
 	m.bin = max(second, (length+binsMost-1)/binsMost)
 	m.bin = (m.bin + second - 1) / second * second
@@ -139,7 +137,7 @@
 }
 
 // Bin is how long the bins of the series are.
-func (m *Meter) Bin() Micros { return m.bin }
+func (m *Meter) Bin() monotime.Micros { return m.bin }
 
 // Worth is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
 func (m *Meter) Worth(s *simclient.Story) (worth float64, within bool) {
@@ -264,18 +262,18 @@
 
 // Series are lines over time, an entry for each Bin.
 type Series struct {
-	Bin     Micros      `json:"Bin"`
-	Service []float64   `json:"Service"`
-	Asked   []float64   `json:"Asked"` // stories a second
-	Good    []float64   `json:"Good"`  // served within the aim, a second
-	Late    []float64   `json:"Late"`
-	Lost    []float64   `json:"Lost"`    // unserved, a second
-	Refused []float64   `json:"Refused"` // tries refused, a second
-	Failed  []float64   `json:"Failed"`  // tries failed or lost, a second
-	P50     []float64   `json:"P50"`     // milliseconds
-	P99     []float64   `json:"P99"`
-	Class   [][]float64 `json:"Class"` // service of each class
-	Zone    [][]float64 `json:"Zone"`  // and of the clients in each zone
+	Bin     monotime.Micros `json:"Bin"`
+	Service []float64       `json:"Service"`
+	Asked   []float64       `json:"Asked"` // stories a second
+	Good    []float64       `json:"Good"`  // served within the aim, a second
+	Late    []float64       `json:"Late"`
+	Lost    []float64       `json:"Lost"`    // unserved, a second
+	Refused []float64       `json:"Refused"` // tries refused, a second
+	Failed  []float64       `json:"Failed"`  // tries failed or lost, a second
+	P50     []float64       `json:"P50"`     // milliseconds
+	P99     []float64       `json:"P99"`
+	Class   [][]float64     `json:"Class"` // service of each class
+	Zone    [][]float64     `json:"Zone"`  // and of the clients in each zone
 }
 
 // NodeLoad is what one endpoint had to do.
@@ -451,7 +449,7 @@
 
 // Labour tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
 // was at work, and how long all took; 0 is that not all are back.
-func (m *Meter) Labour(asked, back, sent int, took Micros) {
+func (m *Meter) Labour(asked, back, sent int, took monotime.Micros) {
 	m.labour = map[string]float64{"work_sent": float64(sent), "work_left": float64(asked - back), "work_took": float64(took) / float64(second)}
 }
 
--- a/internal/simulation/measure/order.go
+++ b/internal/simulation/measure/order.go
@@ -4,13 +4,14 @@
 	"cmp"
 	"slices"
 
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/simclient"
 )
 
 // World is what a run's endpoints and instances could do, as far as a plan says.
 type World struct {
-	Capacity func(at Micros) float64            // useful work that all endpoints can do in a microsecond
-	Reached  func(instance int, at Micros) bool // whether an instance takes requests
+	Capacity func(at monotime.Micros) float64            // useful work that all endpoints can do in a microsecond
+	Reached  func(instance int, at monotime.Micros) bool // whether an instance takes requests
 }
 
 // work is the work of a class's stories that began in a second, and what of it was served.
@@ -35,7 +36,7 @@
 	if x == nil || !x.world.Reached(s.Instance, s.Began) {
 		return
 	}
-	w := &x.seconds[min(s.Began/second, Micros(len(x.seconds)-1))][s.Class]
+	w := &x.seconds[min(s.Began/second, monotime.Micros(len(x.seconds)-1))][s.Class]
 	w.asked += float64(s.Work)
 	w.worth += worth
 	if inAim {
@@ -53,7 +54,7 @@
 	}
 	var could, wrong, all float64
 	for i, classes := range x.seconds {
-		left := x.world.Capacity(Micros(i)*second+second/2) * float64(second)
+		left := x.world.Capacity(monotime.Micros(i)*second+second/2) * float64(second)
 		order := slices.Clone(classes)
 		slices.SortFunc(order, func(a, b work) int {
 			return cmp.Compare(b.worth*max(1, a.asked), a.worth*max(1, b.asked))
--- a/internal/simulation/measure/spent.go
+++ b/internal/simulation/measure/spent.go
@@ -1,12 +1,16 @@
 package measure
 
-import "slices"
+import (
+	"slices"
+
+	"dunlinsail/internal/monotime"
+)
 
 // spending is what instances spent of the fleet's budgets, by budget: the instants of units.
-type spending map[string][]Micros
+type spending map[string][]monotime.Micros
 
 // Spent tells that an instance spent a unit of a budget.
-func (m *Meter) Spent(now Micros, budget string) {
+func (m *Meter) Spent(now monotime.Micros, budget string) {
 	if m.spent == nil {
 		m.spent = spending{}
 	}
@@ -30,7 +34,7 @@
 		f["beyond_limit"] += float64(beyond)
 		each := make([]float64, len(asked[i]))
 		for _, v := range at {
-			if n := v / second; n >= 0 && n < Micros(len(each)) {
+			if n := v / second; n >= 0 && n < monotime.Micros(len(each)) {
 				each[n]++
 			}
 		}
@@ -50,7 +54,7 @@
 const useFrom = 1.2
 
 // Worst returns how many of instants in order lie within any second, and how many of them came beyond a limit of a second.
-func Worst(at []Micros, limit float64) (worst, beyond int) {
+func Worst(at []monotime.Micros, limit float64) (worst, beyond int) {
 	from := 0
 	for i, v := range at {
 		for at[from] <= v-second {
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -19,6 +19,7 @@
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/measure"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/scenario"
@@ -26,10 +27,7 @@
 	"dunlinsail/internal/siteconfig"
 )
 
-// Micros is an instant or a duration in microseconds; a run begins at 0.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Version changes when the same plan and settings would come to something else by this package's doing.
 const Version = 2
@@ -57,16 +55,16 @@
 type Options struct {
 	Plan     *scenario.Plan
 	Settings *Settings
-	Judge    measure.Judge                              // its classes and tenants, by name, are those of the plan
-	Trace    func(Trace)                                // told of what happens to stories, for those who look for a cause; may be nil
-	Record   func(x *Request)                           // told of each request that an instance took, once it is over; may be nil
-	Log      func(at Micros, instance int, line string) // told of what instances log; may be nil
-	Progress func(at Micros)
+	Judge    measure.Judge                                       // its classes and tenants, by name, are those of the plan
+	Trace    func(Trace)                                         // told of what happens to stories, for those who look for a cause; may be nil
+	Record   func(x *Request)                                    // told of each request that an instance took, once it is over; may be nil
+	Log      func(at monotime.Micros, instance int, line string) // told of what instances log; may be nil
+	Progress func(at monotime.Micros)
 }
 
 // Trace is one step in a story's life.
 type Trace struct {
-	At       Micros
+	At       monotime.Micros
 	Story    uint64
 	Try      int
 	Instance int
@@ -82,15 +80,15 @@
 	Class, Tenant     int // places among the judge's; no tenant is -1
 	Key, Object       uint64
 	Retry             bool
-	Arrived           Micros // the instance's clock
-	Took              Micros
-	Patience          Micros
+	Arrived           monotime.Micros // the instance's clock
+	Took              monotime.Micros
+	Patience          monotime.Micros
 	Left              bool // its client went before its answer
 	Answer            engine.Answer
 }
 
 // clockOrigin is Unix time at the beginning of a run, in microseconds: what clocks of instances and discovery tell.
-const clockOrigin Micros = 1_700_000_000_000_000
+const clockOrigin monotime.Micros = 1_700_000_000_000_000
 
 // afterEnd bounds how long a run goes on after its last story began.
 const afterEnd = 120 * second
@@ -100,7 +98,7 @@
 	o        Options
 	plan     *scenario.Plan
 	settings *Settings
-	now      Micros
+	now      monotime.Micros
 	queue    queue
 
 	classOf   []int // place among the judge's classes of each of the plan's
@@ -413,7 +411,7 @@
 	simclient.Try
 	story   *story
 	in      *instance
-	sent    Micros
+	sent    monotime.Micros
 	done    bool // for the client
 	life    uint32
 	call    engine.Call
@@ -465,7 +463,7 @@
 }
 
 // over ends the try for its client.
-func (t *try) over(v simclient.Verdict, retryAfter Micros) {
+func (t *try) over(v simclient.Verdict, retryAfter monotime.Micros) {
 	if t.done {
 		return
 	}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/scenario"
 )
@@ -28,7 +29,7 @@
 }
 
 // delay draws how long one message takes.
-func (n *network) delay(mean float64, who ...uint64) Micros {
+func (n *network) delay(mean float64, who ...uint64) monotime.Micros {
 	r := n.stream.For(who...)
 	d := mean * (1 + n.jitter*r.ExpFloat64())
 	if n.slack > 0 {
@@ -38,11 +39,11 @@
 	for wait := n.again; n.loss > 0 && r.Float64() < n.loss; wait *= 2 {
 		d += wait
 	}
-	return max(1, Micros(math.Round(d)))
+	return max(1, monotime.Micros(math.Round(d)))
 }
 
 // client is the way between a client and its instance, there or back.
-func (n *network) client(story uint64, try int, back bool) Micros {
+func (n *network) client(story uint64, try int, back bool) monotime.Micros {
 	way := uint64(try) << 1
 	if back {
 		way |= 1
@@ -51,7 +52,7 @@
 }
 
 // between is the way between an instance and an endpoint; what is 0, 1, 2 for the steps of one attempt or probe.
-func (n *network) between(a, b int, who, which, what uint64) Micros {
+func (n *network) between(a, b int, who, which, what uint64) monotime.Micros {
 	mean := n.ways[2]
 	if a == b {
 		mean = n.ways[1]
--- a/internal/simulation/queue.go
+++ b/internal/simulation/queue.go
@@ -1,9 +1,11 @@
 package simulation
 
+import "dunlinsail/internal/monotime"
+
 // event is something that happens at an instant; those of the same instant go in the order in which they were set. What
 // is pointed to, and what n means, depends on its kind.
 type event struct {
-	at    Micros
+	at    monotime.Micros
 	order uint64
 	kind  kind
 	n     uint32
@@ -22,7 +24,7 @@
 func before(a, b *event) bool { return a.at < b.at || a.at == b.at && a.order < b.order }
 
 // push adds an event.
-func (q *queue) push(at Micros, k kind, n uint32, p any) {
+func (q *queue) push(at monotime.Micros, k kind, n uint32, p any) {
 	q.order++
 	q.heap = append(q.heap, event{})
 	i := len(q.heap) - 1
--- a/internal/simulation/scenario/ideal.go
+++ b/internal/simulation/scenario/ideal.go
@@ -1,6 +1,10 @@
 package scenario
 
-import "math"
+import (
+	"math"
+
+	"dunlinsail/internal/monotime"
+)
 
 // idealStep is how finely Ideal looks.
 const idealStep = second / 4
@@ -13,7 +17,7 @@
 	backlog := 0.0
 	work := p.MeanWork()
 	times := p.surges()
-	for at := Micros(0); at < p.Length.Micros(); at += idealStep {
+	for at := monotime.Micros(0); at < p.Length.Micros(); at += idealStep {
 		demand := p.Rate * p.Times(at) * times(at) * float64(idealStep) / float64(second)
 		capacity := p.CapacityAt(at) * float64(idealStep) / work
 		asked += demand
@@ -28,14 +32,14 @@
 }
 
 // surges returns how many times the traffic of all instances is at an instant, beside the shape.
-func (p *Plan) surges() func(at Micros) float64 {
+func (p *Plan) surges() func(at monotime.Micros) float64 {
 	var all []*kinds
 	for i := range p.Instances {
 		if k := p.kinds(i); k.surges || i == 0 {
 			all = append(all, k)
 		}
 	}
-	return func(at Micros) (times float64) {
+	return func(at monotime.Micros) (times float64) {
 		if len(all) == 1 {
 			all[0].at(at)
 			return all[0].sum
@@ -49,7 +53,7 @@
 }
 
 // CapacityAt is the useful work that all endpoints can do in a microsecond at an instant.
-func (p *Plan) CapacityAt(at Micros) float64 {
+func (p *Plan) CapacityAt(at monotime.Micros) float64 {
 	speed := make([]float64, len(p.Nodes))
 	for i := range p.Nodes {
 		n := &p.Nodes[i]
@@ -82,7 +86,7 @@
 			}
 		case "rolling":
 			for k, j := range h.Nodes {
-				if from := h.At + Micros(k)*h.Every; at >= from && at < from+h.Every {
+				if from := h.At + monotime.Micros(k)*h.Every; at >= from && at < from+h.Every {
 					speed[j] = 0
 				} else if at >= from+h.Every {
 					speed[j] *= p.Nodes[j].warmth(at - from - h.Every)
@@ -105,7 +109,7 @@
 }
 
 // warmth is the part of its speed that a node has so long after its start.
-func (n *Node) warmth(age Micros) float64 {
+func (n *Node) warmth(age monotime.Micros) float64 {
 	c := &n.Config
 	if c.ColdFor <= 0 || age >= c.ColdFor {
 		return 1
@@ -114,7 +118,7 @@
 }
 
 // left is the part of its speed that an event leaves an endpoint.
-func left(h *Happening, k int, at Micros) float64 {
+func left(h *Happening, k int, at monotime.Micros) float64 {
 	switch h.What {
 	case "slow", "lies":
 		return 1 / h.Sizes[k]
@@ -134,7 +138,7 @@
 }
 
 // Reached says whether an instance takes requests at an instant: it is neither stopped nor killed.
-func (p *Plan) Reached(instance int, at Micros) bool {
+func (p *Plan) Reached(instance int, at monotime.Micros) bool {
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
 		switch h.What {
--- a/internal/simulation/scenario/plan.go
+++ b/internal/simulation/scenario/plan.go
@@ -7,15 +7,13 @@
 	"math/rand/v2"
 	"slices"
 
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
 	"dunlinsail/internal/simulation/simclient"
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// Micros is an instant or a duration in microseconds; a run begins at 0.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Plan is a scenario drawn with a seed.
 type Plan struct {
@@ -36,41 +34,41 @@
 	Cell       int
 	Cold       bool
 	Config     simendpoint.Config
-	Idle       Micros
-	PauseEvery Micros
-	PauseFor   Micros
+	Idle       monotime.Micros
+	PauseEvery monotime.Micros
+	PauseFor   monotime.Micros
 }
 
 // Instance is an instance of the daemon in a plan.
 type Instance struct {
 	Zone  int
-	Share float64 // of all traffic
-	Skew  Micros  // its clock against the world's
+	Share float64         // of all traffic
+	Skew  monotime.Micros // its clock against the world's
 	Drift float64
 	Nodes []int // that it is told of; nil is all
 }
 
 // Happening is an event of a plan: what was left to chance is drawn.
 type Happening struct {
-	What      string    `json:"What"`
-	At        Micros    `json:"At"`
-	Until     Micros    `json:"Until"` // math.MaxInt64 for what does not end
-	Nodes     []int     `json:"Nodes"`
-	Sizes     []float64 `json:"Sizes"`  // of each of Nodes; of one number where it happens to no node
-	Class     int       `json:"Class"`  // -1 is all
-	Tenant    int       `json:"Tenant"` // -1 is all
-	One       bool      `json:"One"`    // of the first client process only
-	Zone      int       `json:"Zone"`   // -1 is all
-	To        int       `json:"To"`     // the same
-	Every     Micros    `json:"Every"`
-	Delay     Micros    `json:"Delay"`
-	Instances []int     `json:"Instances"` // of what happens to instances, or on their ways
-	Others    []int     `json:"Others"`    // part: the other side; nil is all others
-	Way       string    `json:"Way"`
+	What      string          `json:"What"`
+	At        monotime.Micros `json:"At"`
+	Until     monotime.Micros `json:"Until"` // math.MaxInt64 for what does not end
+	Nodes     []int           `json:"Nodes"`
+	Sizes     []float64       `json:"Sizes"`  // of each of Nodes; of one number where it happens to no node
+	Class     int             `json:"Class"`  // -1 is all
+	Tenant    int             `json:"Tenant"` // -1 is all
+	One       bool            `json:"One"`    // of the first client process only
+	Zone      int             `json:"Zone"`   // -1 is all
+	To        int             `json:"To"`     // the same
+	Every     monotime.Micros `json:"Every"`
+	Delay     monotime.Micros `json:"Delay"`
+	Instances []int           `json:"Instances"` // of what happens to instances, or on their ways
+	Others    []int           `json:"Others"`    // part: the other side; nil is all others
+	Way       string          `json:"Way"`
 }
 
 // Frozen says whether what happens at an instant stops an instance, and until when at least.
-func (h *Happening) Frozen(now Micros) (until Micros, yes bool) {
+func (h *Happening) Frozen(now monotime.Micros) (until monotime.Micros, yes bool) {
 	if h.What != "freeze" || now < h.At || now >= h.Until {
 		return 0, false
 	}
@@ -82,13 +80,13 @@
 }
 
 // Severs says whether it lets nothing through between an instance and an endpoint, towards the endpoint or back.
-func (h *Happening) Severs(now Micros, instance, node int, back bool) bool {
+func (h *Happening) Severs(now monotime.Micros, instance, node int, back bool) bool {
 	return h.What == "sever" && now >= h.At && now < h.Until && (h.Way == "" || (h.Way == "from") == back) &&
 		has(h.Instances, instance) && has(h.Nodes, node)
 }
 
 // Parts says whether no word passes from one instance to another at an instant.
-func (p *Plan) Parts(now Micros, from, to int) bool {
+func (p *Plan) Parts(now monotime.Micros, from, to int) bool {
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
 		if h.What != "part" || now < h.At || now >= h.Until || h.Every > 0 && (now-h.At)/h.Every%2 != 0 {
@@ -106,7 +104,7 @@
 }
 
 // Lies is how many times what it wants the liar says that it does at an instant; 1 without one.
-func (p *Plan) Lies(now Micros) float64 {
+func (p *Plan) Lies(now monotime.Micros) float64 {
 	for i := range p.Happenings {
 		if h := &p.Happenings[i]; h.What == "liar" && now >= h.At && now < h.Until {
 			return h.Sizes[0]
@@ -117,12 +115,12 @@
 
 // Late is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
 // of the word's own.
-func (p *Plan) Late(now Micros, from int, lots [3]float64) (more Micros, twice bool) {
+func (p *Plan) Late(now monotime.Micros, from int, lots [3]float64) (more monotime.Micros, twice bool) {
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
 		if h.What == "late-words" && now >= h.At && now < h.Until && has(h.Instances, from) {
 			if lots[0] < 0.5 {
-				more += Micros(lots[1] * float64(h.Delay))
+				more += monotime.Micros(lots[1] * float64(h.Delay))
 			}
 			twice = twice || lots[2] < 0.1
 		}
@@ -138,7 +136,7 @@
 }
 
 // Lag is by how much longer each message between an instance and an endpoint takes at an instant.
-func (p *Plan) Lag(now Micros, instance, node int) (more Micros) {
+func (p *Plan) Lag(now monotime.Micros, instance, node int) (more monotime.Micros) {
 	for i := range p.Happenings {
 		if h := &p.Happenings[i]; h.What == "lag" && now >= h.At && now < h.Until && has(h.Instances, instance) && has(h.Nodes, node) {
 			more += h.Delay
@@ -213,7 +211,7 @@
 	zones := len(p.Fleet.Zones)
 	for i := range p.Fleet.Instances {
 		r := stream.For(uint64(i))
-		in := Instance{Zone: i % zones, Share: randstream.LogNormal(r, 1, p.Fleet.Uneven), Skew: Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
+		in := Instance{Zone: i % zones, Share: randstream.LogNormal(r, 1, p.Fleet.Uneven), Skew: monotime.Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
 			Drift: (2*r.Float64() - 1) * p.Clocks.Drift}
 		if in.Zone == 0 {
 			in.Share *= 1 + p.Fleet.ZoneSkew*float64(zones-1)
@@ -297,10 +295,10 @@
 	for i := range p.Events {
 		e := &p.Events[i]
 		r := stream.For(uint64(i))
-		h := Happening{What: e.What, At: Micros(randstream.Range(r, ends(e.At))), Until: math.MaxInt64, Class: -1, Tenant: -1, Zone: -1, To: -1, One: e.One,
-			Every: e.Every.Micros(), Delay: Micros(randstream.Range(r, ends(e.Delay)))}
+		h := Happening{What: e.What, At: monotime.Micros(randstream.Range(r, ends(e.At))), Until: math.MaxInt64, Class: -1, Tenant: -1, Zone: -1, To: -1, One: e.One,
+			Every: e.Every.Micros(), Delay: monotime.Micros(randstream.Range(r, ends(e.Delay)))}
 		if e.For != nil {
-			h.Until = h.At + Micros(randstream.Range(r, ends(e.For)))
+			h.Until = h.At + monotime.Micros(randstream.Range(r, ends(e.For)))
 		}
 		for j, c := range p.Classes {
 			if c.Name == e.Class {
@@ -335,7 +333,7 @@
 
 // Condition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of the
 // scenario's classes has at endpoints.
-func (h *Happening) Condition(c *simendpoint.Condition, now Micros, k int, classOf []int) {
+func (h *Happening) Condition(c *simendpoint.Condition, now monotime.Micros, k int, classOf []int) {
 	size := h.Sizes[k]
 	switch h.What {
 	case "slow", "lies":
@@ -365,16 +363,16 @@
 func (p *Plan) Habits() simclient.Habits {
 	c := &p.Clients
 	backoff := ends(c.Backoff)
-	return simclient.Habits{Retries: c.Retries, TryShare: c.TryShare.ends(1), Backoff: [2]Micros{Micros(backoff[0]), Micros(backoff[1])},
+	return simclient.Habits{Retries: c.Retries, TryShare: c.TryShare.ends(1), Backoff: [2]monotime.Micros{monotime.Micros(backoff[0]), monotime.Micros(backoff[1])},
 		Honour: c.Honour, Impatient: c.Impatient, MarksRetry: c.MarksRetry, FreshKeys: c.FreshKeys}
 }
 
 // Times is the shape of the traffic at an instant.
-func (p *Plan) Times(at Micros) float64 {
+func (p *Plan) Times(at monotime.Micros) float64 {
 	if len(p.Shape) == 0 {
 		return 1
 	}
-	i, _ := slices.BinarySearchFunc(p.Shape, at, func(s Shape, at Micros) int { return cmp.Compare(s.At.Micros(), at) })
+	i, _ := slices.BinarySearchFunc(p.Shape, at, func(s Shape, at monotime.Micros) int { return cmp.Compare(s.At.Micros(), at) })
 	switch {
 	case i == 0:
 		return p.Shape[0].Times
@@ -388,7 +386,7 @@
 
 // surge is how many times the traffic of an instance, a class, a tenant and a client process is at an instant, beside the
 // shape.
-func (p *Plan) surge(at Micros, instance, class, tenant, process int) float64 {
+func (p *Plan) surge(at monotime.Micros, instance, class, tenant, process int) float64 {
 	v := 1.0
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
@@ -441,7 +439,7 @@
 }
 
 // at sets the weights of an instant.
-func (k *kinds) at(at Micros) {
+func (k *kinds) at(at monotime.Micros) {
 	if !k.surges {
 		return
 	}
@@ -499,14 +497,14 @@
 			if at >= end {
 				return simclient.Story{}, false
 			}
-			kinds.at(Micros(at))
-			if arrivals.Float64()*most >= p.Times(Micros(at))*kinds.sum {
+			kinds.at(monotime.Micros(at))
+			if arrivals.Float64()*most >= p.Times(monotime.Micros(at))*kinds.sum {
 				continue
 			}
 			id := uint64(instance)<<32 | n
 			n++
 			r := stories.For(id)
-			s := simclient.Story{ID: id, Instance: instance, Began: Micros(at), Tenant: -1, Object: r.Uint64N(uint64(p.Clients.Objects))}
+			s := simclient.Story{ID: id, Instance: instance, Began: monotime.Micros(at), Tenant: -1, Object: r.Uint64N(uint64(p.Clients.Objects))}
 			var tenant int
 			s.Class, tenant, s.Process = kinds.pick(r)
 			if len(p.Tenants) > 0 {
@@ -520,7 +518,7 @@
 }
 
 // Draw draws the work of a request.
-func (c *Class) Draw(r *rand.Rand) Micros {
+func (c *Class) Draw(r *rand.Rand) monotime.Micros {
 	mean := float64(c.Work.Micros())
 	switch c.Dist {
 	case "fixed":
@@ -529,11 +527,11 @@
 	default:
 		mean = randstream.LogNormal(r, mean, c.CV)
 	}
-	return max(1, Micros(mean))
+	return max(1, monotime.Micros(mean))
 }
 
 // Trouble is when the first of what happens begins and the last ends that does end; both 0 where nothing happens.
-func (p *Plan) Trouble() (from, until Micros) {
+func (p *Plan) Trouble() (from, until monotime.Micros) {
 	for i := range p.Happenings {
 		h := &p.Happenings[i]
 		if i == 0 {
--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/stricttoml"
 )
 
@@ -117,11 +118,11 @@
 tenant = "q"
 size = [5.0]
 `)
-	count := func(seed uint64) (by [3][2]int, total int, last Micros) {
+	count := func(seed uint64) (by [3][2]int, total int, last monotime.Micros) {
 		p := s.Draw(seed)
 		for i := range p.Instances {
 			next := p.Stories(i)
-			for at := Micros(-1); ; {
+			for at := monotime.Micros(-1); ; {
 				x, ok := next()
 				if !ok {
 					break
--- a/internal/simulation/simclient/caller_test.go
+++ b/internal/simulation/simclient/caller_test.go
@@ -7,18 +7,19 @@
 	"pgregory.net/rapid"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 )
 
 // A story has one outcome, no more tries than its client makes, none beyond its time, and no try of an unsafe request
 // after one that may have run.
 func TestOneOutcome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := Habits{Retries: [2]int{0, rapid.IntRange(0, 4).Draw(t, "retries")}, TryShare: [2]float64{0.3, 0.8}, Backoff: [2]Micros{1000, 50_000},
+		h := Habits{Retries: [2]int{0, rapid.IntRange(0, 4).Draw(t, "retries")}, TryShare: [2]float64{0.3, 0.8}, Backoff: [2]monotime.Micros{1000, 50_000},
 			Honour: rapid.Float64Range(0, 1).Draw(t, "honour"), Impatient: 0.2}
 		c := &balancer.Class{Aim: 200_000, GiveUp: 500_000, Repeat: balancer.Repeat(rapid.IntRange(0, 2).Draw(t, "repeat"))}
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		s := &Story{ID: 1, Key: 5}
-		began := Micros(rapid.IntRange(0, 1_000_000).Draw(t, "began"))
+		began := monotime.Micros(rapid.IntRange(0, 1_000_000).Draw(t, "began"))
 		try := s.Begin(began, &h, c, r)
 		for {
 			if try.Deadline > began+c.GiveUp || try.Leaves > try.Deadline || s.Tries > h.Retries[1]+1 {
--- a/internal/simulation/simendpoint/node.go
+++ b/internal/simulation/simendpoint/node.go
@@ -9,13 +9,11 @@
 	"math/rand/v2"
 	"slices"
 
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
 )
 
-// Micros is an instant or a duration in microseconds.
-type Micros = int64
-
-const second Micros = 1_000_000
+const second monotime.Micros = 1_000_000
 
 // Cancel says what becomes of a request whose sender has given it up.
 type Cancel uint8
@@ -29,22 +27,22 @@
 
 // Config is what an endpoint is.
 type Config struct {
-	Cores     int     // requests worked at side by side
-	Speed     float64 // of a core, where 1 does a microsecond's work in a microsecond
-	Queue     int     // requests that may wait
-	ColdFrom  float64 // the part of its speed that it starts with, 1 for all of it,
-	ColdFor   Micros  // and after so long it has all of it
-	Fall      float64 // sent more than so many times what it can do, while cold,
-	FallAfter Micros  // within so long, it falls over; 0 is never
+	Cores     int             // requests worked at side by side
+	Speed     float64         // of a core, where 1 does a microsecond's work in a microsecond
+	Queue     int             // requests that may wait
+	ColdFrom  float64         // the part of its speed that it starts with, 1 for all of it,
+	ColdFor   monotime.Micros // and after so long it has all of it
+	Fall      float64         // sent more than so many times what it can do, while cold,
+	FallAfter monotime.Micros // within so long, it falls over; 0 is never
 	Cancel    Cancel
-	Errors    float64 // part of its requests that fail
-	CrowdAt   float64 // requests held for each core beyond which
-	Crowd     float64 // it loses this part of its speed; 0 is never
-	ProbeWork Micros  // what a probe costs it
-	Handshake Micros  // what a new connection costs it
-	Conns     int     // connections that it holds; 0 is no bound
-	Report    Micros  // its figures are made anew so often; 0 is at each look
-	Noise     float64 // of its figures
+	Errors    float64         // part of its requests that fail
+	CrowdAt   float64         // requests held for each core beyond which
+	Crowd     float64         // it loses this part of its speed; 0 is never
+	ProbeWork monotime.Micros // what a probe costs it
+	Handshake monotime.Micros // what a new connection costs it
+	Conns     int             // connections that it holds; 0 is no bound
+	Report    monotime.Micros // its figures are made anew so often; 0 is at each look
+	Noise     float64         // of its figures
 }
 
 // Condition is what goes wrong at an endpoint for a while. The zero value is nothing.
@@ -54,23 +52,23 @@
 	Errors float64 // part of the requests that fail at once, without having run,
 	Class  int     // of this class only, where Part is set
 	Part   bool
-	Mute   float64 // part of the requests that are never answered
-	Full   float64 // part of the requests that it turns away unseen, although it has room
-	Lies   bool    // its reports say that it holds nothing
-	Babble bool    // its reports say nothing, or what cannot be
-	Late   Micros  // its reports are older by this
+	Mute   float64         // part of the requests that are never answered
+	Full   float64         // part of the requests that it turns away unseen, although it has room
+	Lies   bool            // its reports say that it holds nothing
+	Babble bool            // its reports say nothing, or what cannot be
+	Late   monotime.Micros // its reports are older by this
 }
 
 // Job is a request at an endpoint.
 type Job struct {
 	Class  int
-	Work   Micros // at speed 1
-	Key    uint64 // a repeat of it is dropped; 0 is none
+	Work   monotime.Micros // at speed 1
+	Key    uint64          // a repeat of it is dropped; 0 is none
 	Luck   float64
-	Host   any    // the host's own
-	repeat bool   // its key was known as it came
-	began  Micros // working only
-	end    Micros
+	Host   any             // the host's own
+	repeat bool            // its key was known as it came
+	began  monotime.Micros // working only
+	end    monotime.Micros
 	state  state
 	place  int // among the cores, Working only
 }
@@ -99,23 +97,25 @@
 // Ended is a request's end at an endpoint.
 type Ended struct {
 	Job     *Job
-	At      Micros
+	At      monotime.Micros
 	Verdict Verdict
 	Effect  bool // it took effect: it was no repeat that the endpoint knew. What fails after its work has, too
 }
 
 // Group is a set of endpoints that share which keys they have seen.
 type Group struct {
-	window Micros
-	seen   map[uint64]Micros // keys, by when each was first taken
-	order  []uint64          // the oldest first
+	window monotime.Micros
+	seen   map[uint64]monotime.Micros // keys, by when each was first taken
+	order  []uint64                   // the oldest first
 }
 
 // NewGroup returns a group that drops a key's repeats for so long.
-func NewGroup(window Micros) *Group { return &Group{window: window, seen: map[uint64]Micros{}} }
+func NewGroup(window monotime.Micros) *Group {
+	return &Group{window: window, seen: map[uint64]monotime.Micros{}}
+}
 
 // repeat says whether a key is known, and notes it.
-func (g *Group) repeat(now Micros, key uint64) bool {
+func (g *Group) repeat(now monotime.Micros, key uint64) bool {
 	for len(g.order) > 0 && now-g.seen[g.order[0]] >= g.window {
 		delete(g.seen, g.order[0])
 		g.order = g.order[1:]
@@ -145,14 +145,14 @@
 	up       bool
 	draining bool
 	fell     bool
-	started  Micros
+	started  monotime.Micros
 	always   bool // it was up before everything began: it is warm
 
 	cores  []*Job // nil where a core is free
 	busy   int
 	queue  []*Job
-	paused Micros // nothing goes on until then
-	debt   Micros // work for probes and handshakes that the next request waits for
+	paused monotime.Micros // nothing goes on until then
+	debt   monotime.Micros // work for probes and handshakes that the next request waits for
 	conns  int
 	worked float64 // work done, at speed 1
 
@@ -165,18 +165,18 @@
 
 // figures are what reports are made of.
 type figures struct {
-	at     Micros
+	at     monotime.Micros
 	load   Load
-	from   Micros // of the present second
+	from   monotime.Micros // of the present second
 	served int
 	errors int
-	used   Micros // core time in the present second
+	used   monotime.Micros // core time in the present second
 	last   Load
 	past   []stamped // for reports that come late
 }
 
 type stamped struct {
-	at   Micros
+	at   monotime.Micros
 	load Load
 }
 
@@ -193,7 +193,7 @@
 }
 
 // Start has it come up. One that was always up is warm.
-func (n *Node) Start(now Micros, always bool) {
+func (n *Node) Start(now monotime.Micros, always bool) {
 	n.up, n.draining, n.fell, n.started, n.always = true, false, false, now, always
 	n.debt, n.conns, n.paused = 0, 0, 0
 	n.slots, n.slot = [10]float64{}, 0
@@ -201,7 +201,7 @@
 }
 
 // Kill ends it at once, and returns what it held: nobody will be told of those.
-func (n *Node) Kill(now Micros) []*Job {
+func (n *Node) Kill(now monotime.Micros) []*Job {
 	held := slices.Clone(n.queue)
 	for i, j := range n.cores {
 		if j != nil {
@@ -232,7 +232,7 @@
 func (n *Node) Worked() float64 { return n.worked }
 
 // Started returns when it last started, 0 if it was always up.
-func (n *Node) Started() Micros {
+func (n *Node) Started() monotime.Micros {
 	if n.always {
 		return 0
 	}
@@ -246,7 +246,7 @@
 func (n *Node) Condition() Condition { return n.cond }
 
 // Pause stops it for a while, as a collector of garbage does: what is at work takes so much longer.
-func (n *Node) Pause(now, length Micros) {
+func (n *Node) Pause(now, length monotime.Micros) {
 	n.paused = max(n.paused, now) + length
 	for _, j := range n.cores {
 		if j != nil {
@@ -269,7 +269,7 @@
 func (n *Node) Disconnect() { n.conns = max(0, n.conns-1) }
 
 // Warmth is the part of its speed that it has by now.
-func (n *Node) Warmth(now Micros) float64 {
+func (n *Node) Warmth(now monotime.Micros) float64 {
 	if n.always || n.c.ColdFor <= 0 || n.c.ColdFrom <= 0 || now-n.started >= n.c.ColdFor {
 		return 1
 	}
@@ -277,7 +277,7 @@
 }
 
 // Capacity is the work that it can do in a microsecond, by all its cores, as things stand.
-func (n *Node) Capacity(now Micros) float64 {
+func (n *Node) Capacity(now monotime.Micros) float64 {
 	if !n.up || n.fell {
 		return 0
 	}
@@ -285,7 +285,7 @@
 }
 
 // speed is that of one core.
-func (n *Node) speed(now Micros) float64 {
+func (n *Node) speed(now monotime.Micros) float64 {
 	v := n.c.Speed * n.Warmth(now) * (1 - n.cond.Stolen)
 	if n.cond.Slow > 0 {
 		v /= n.cond.Slow
@@ -297,7 +297,7 @@
 }
 
 // Arrive takes a request in, or says at once what becomes of it: Full, or Error of one that has not run.
-func (n *Node) Arrive(now Micros, j *Job) Verdict {
+func (n *Node) Arrive(now monotime.Micros, j *Job) Verdict {
 	if n.draining || n.fell || n.c.Queue > 0 && len(n.queue) >= n.c.Queue && n.busy == len(n.cores) {
 		n.push(now, j)
 		return Full
@@ -321,7 +321,7 @@
 }
 
 // push counts what is sent to a cold endpoint, which falls over when that is too much for too long.
-func (n *Node) push(now Micros, j *Job) {
+func (n *Node) push(now monotime.Micros, j *Job) {
 	warmth := n.Warmth(now)
 	if n.c.Fall <= 0 || n.c.FallAfter <= 0 || warmth >= 1 || n.fell {
 		return
@@ -346,10 +346,10 @@
 }
 
 // begin has a request go to work on a free core.
-func (n *Node) begin(now Micros, j *Job) {
+func (n *Node) begin(now monotime.Micros, j *Job) {
 	j.state = working
 	speed := n.speed(now)
-	length := Micros(float64(j.Work+n.debt)/speed) + 1
+	length := monotime.Micros(float64(j.Work+n.debt)/speed) + 1
 	n.debt = 0
 	j.began, j.end = now, max(now, n.paused)+length
 	n.figures.used += length
@@ -363,7 +363,7 @@
 }
 
 // Next returns the instant of the next end; ok says whether there is one.
-func (n *Node) Next() (at Micros, ok bool) {
+func (n *Node) Next() (at monotime.Micros, ok bool) {
 	for _, j := range n.cores {
 		if j != nil && (!ok || j.end < at) {
 			at, ok = j.end, true
@@ -373,7 +373,7 @@
 }
 
 // Advance works on until an instant, and returns what has ended by then. The result is good until the next call.
-func (n *Node) Advance(now Micros) []Ended {
+func (n *Node) Advance(now monotime.Micros) []Ended {
 	n.ended = n.ended[:0]
 	for {
 		at, ok := n.Next()
@@ -394,7 +394,7 @@
 }
 
 // refill has what waits go to work.
-func (n *Node) refill(now Micros) {
+func (n *Node) refill(now monotime.Micros) {
 	for n.busy < len(n.cores) && len(n.queue) > 0 {
 		j := n.queue[0]
 		n.queue[0] = nil
@@ -405,7 +405,7 @@
 
 // end is what came of a request that was worked at to its end. Its luck decides, so that it is the same whatever else
 // goes on.
-func (n *Node) end(now Micros, j *Job) Ended {
+func (n *Node) end(now monotime.Micros, j *Job) Ended {
 	n.worked += float64(j.Work)
 	n.figures.served++
 	n.figures.load.LatencyMS += (float64(j.Work)/n.speed(now)/1000 - n.figures.load.LatencyMS) * 0.1
@@ -424,7 +424,7 @@
 }
 
 // GiveUp tells that a request's sender waits no longer, and says whether that ends it.
-func (n *Node) GiveUp(now Micros, j *Job) bool {
+func (n *Node) GiveUp(now monotime.Micros, j *Job) bool {
 	switch {
 	case j.state == waiting && n.c.Cancel != CancelNone:
 		if i := slices.Index(n.queue, j); i >= 0 {
@@ -453,7 +453,7 @@
 }
 
 // Probe returns what a probe is told. It costs the endpoint a little.
-func (n *Node) Probe(now Micros, r *rand.Rand) Load {
+func (n *Node) Probe(now monotime.Micros, r *rand.Rand) Load {
 	n.debt += n.c.ProbeWork
 	f := &n.figures
 	if now-f.from >= second {
@@ -497,6 +497,6 @@
 }
 
 // WorkOf draws what an attempt of a request costs: the request's own work, and what differs from one run to the next.
-func WorkOf(r *rand.Rand, work Micros, noise float64) Micros {
-	return max(1, Micros(randstream.LogNormal(r, float64(work), noise)))
+func WorkOf(r *rand.Rand, work monotime.Micros, noise float64) monotime.Micros {
+	return max(1, monotime.Micros(randstream.LogNormal(r, float64(work), noise)))
 }
--- a/internal/simulation/simendpoint/node_test.go
+++ b/internal/simulation/simendpoint/node_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"dunlinsail/internal/monotime"
 )
 
 // Whatever comes, each request that an endpoint takes ends once, it works at no more than its cores allow, and in time it
@@ -14,7 +16,7 @@
 		c := Config{Cores: rapid.IntRange(1, 4).Draw(t, "cores"), Speed: rapid.Float64Range(0.3, 2).Draw(t, "speed"), Queue: rapid.IntRange(0, 5).Draw(t, "queue"),
 			Cancel: Cancel(rapid.IntRange(0, 2).Draw(t, "cancel")), Errors: 0.1, ColdFrom: 0.2, ColdFor: second}
 		n := New(c, NewGroup(400_000))
-		now := Micros(0)
+		now := monotime.Micros(0)
 		n.Start(now, rapid.Bool().Draw(t, "warm"))
 		open := map[*Job]bool{}
 		over := func(j *Job, how string) {
@@ -26,7 +28,7 @@
 		var done float64
 		steps := rapid.IntRange(1, 80).Draw(t, "steps")
 		for range steps {
-			now += Micros(rapid.IntRange(0, 40_000).Draw(t, "gap"))
+			now += monotime.Micros(rapid.IntRange(0, 40_000).Draw(t, "gap"))
 			for _, e := range n.Advance(now) {
 				over(e.Job, "ended")
 				done += float64(e.Job.Work)
@@ -55,7 +57,7 @@
 			case 2:
 				n.Pause(now, 20_000)
 			default:
-				j := &Job{Work: Micros(rapid.IntRange(1, 60_000).Draw(t, "work")), Luck: rapid.Float64Range(0, 1).Draw(t, "luck")}
+				j := &Job{Work: monotime.Micros(rapid.IntRange(1, 60_000).Draw(t, "work")), Luck: rapid.Float64Range(0, 1).Draw(t, "luck")}
 				if v := n.Arrive(now, j); v == Taken {
 					open[j] = true
 				}
@@ -83,9 +85,9 @@
 // or is sent what it can do, does not.
 func TestFallsOver(t *testing.T) {
 	c := Config{Cores: 2, Speed: 1, ColdFrom: 0.2, ColdFor: 20 * second, Fall: 2.5, FallAfter: 2 * second}
-	push := func(n *Node, from Micros, load float64) bool {
+	push := func(n *Node, from monotime.Micros, load float64) bool {
 		const work = 20_000
-		gap := Micros(work / (load * 2))
+		gap := monotime.Micros(work / (load * 2))
 		for now := from; now < from+5*second; now += gap {
 			n.Advance(now)
 			n.Arrive(now, &Job{Work: work, Luck: 0.5})
@@ -122,7 +124,7 @@
 	a, b := New(Config{Cores: 1, Speed: 1}, g), New(Config{Cores: 1, Speed: 1}, g)
 	a.Start(0, true)
 	b.Start(0, true)
-	run := func(n *Node, now Micros) Ended {
+	run := func(n *Node, now monotime.Micros) Ended {
 		if v := n.Arrive(now, &Job{Work: 1000, Key: 7, Luck: 0.5}); v != Taken {
 			t.Fatalf("arrival: %v", v)
 		}
@@ -130,7 +132,7 @@
 	}
 	for i, step := range []struct {
 		n      *Node
-		at     Micros
+		at     monotime.Micros
 		effect bool
 	}{{a, 0, true}, {a, 10_000, false}, {b, 100_000, false}, {b, 402_000, true}, {a, 500_000, false}} {
 		if e := run(step.n, step.at); e.Effect != step.effect || (e.Verdict == Repeat) == step.effect {
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/monotime"
 )
 
 // This file carries the words between instances.
@@ -65,7 +66,7 @@
 	out := &word{in, r.instances[n], r.instances[n].life, w}
 	r.queue.push(at+more, evWord, 0, out)
 	if twice {
-		r.queue.push(at+Micros(lots.Float64()*float64(more)), evWord, 0, out)
+		r.queue.push(at+monotime.Micros(lots.Float64()*float64(more)), evWord, 0, out)
 	}
 }
 
--- a/internal/takeover/loop.go
+++ b/internal/takeover/loop.go
@@ -7,6 +7,7 @@
 
 	"dunlinsail/internal/clock"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/monotime"
 )
 
 // Loop brings what happens in a takeover to the one goroutine that carries it out: messages, deadlines, and whatever else its
@@ -46,8 +47,8 @@
 }
 
 // Arm has the loop woken at the next of some deadlines, of which 0 is none.
-func (l *Loop) Arm(deadlines ...decide.Micros) {
-	var next decide.Micros
+func (l *Loop) Arm(deadlines ...monotime.Micros) {
+	var next monotime.Micros
 	for _, d := range deadlines {
 		if d != 0 && (next == 0 || d < next) {
 			next = d
--- a/internal/upstream/life_test.go
+++ b/internal/upstream/life_test.go
@@ -15,6 +15,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/monotime"
 )
 
 // ledger is the reference: what an endpoint took and what clients were served, by the requests' ids.
@@ -86,7 +87,7 @@
 		at := to
 		attempts.Go(func() {
 			defer leave()
-			r := u.SendWhole(ctx, &core.Try{To: at, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }},
+			r := u.SendWhole(ctx, &core.Try{To: at, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
 				&Request{Method: "GET", URI: "/" + what, Host: "origin.svc", Header: http.Header{"X-Trace-Id": {id}},
 					Rules: &Rules{Hold: 1 << 10, Patient: true, Idle: time.Second}})
 			if a, _ := r.Answer.(*Whole); r.Status == balancer.OK && string(a.Held) != id {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
+	"dunlinsail/internal/monotime"
 )
 
 const sweepEvery = time.Second
@@ -95,7 +96,7 @@
 	idle  time.Time // since when
 
 	answered time.Time       // when the last answer came that may be followed by a second one; zero is never
-	from     balancer.Micros // when an attempt on it could begin that had to wait for it; 0 is that it did not
+	from     monotime.Micros // when an attempt on it could begin that had to wait for it; 0 is that it did not
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -19,6 +19,7 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 )
 
@@ -56,7 +57,7 @@
 func (u *Pool) try(m *Message, to core.Target) engine.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
-	return u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }}, m)
+	return u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, m)
 }
 
 func keyed(body string) *Message {
@@ -322,7 +323,7 @@
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }}, plainGet())
+	r := u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, plainGet())
 	if r.Status != balancer.Moot {
 		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
 	}
@@ -411,7 +412,7 @@
 	u.try(plainGet(), to)
 	to.idle[0].idle = to.idle[0].idle.Add(-u.idleMost * 3 / 4)
 	used := to.idle[0].idle
-	r := u.Send(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return false }}, plainGet())
+	r := u.Send(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return false }}, plainGet())
 	if r.Status != balancer.Moot || len(to.idle) != 1 || !to.idle[0].idle.Equal(used) {
 		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idle, used)
 	}
@@ -559,7 +560,7 @@
 			return r.Status, string(a.Body)
 		},
 		"whole": func(u *Pool, to core.Target) (balancer.Status, string) {
-			r := u.SendWhole(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }},
+			r := u.SendWhole(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
 				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
 			a, _ := r.Answer.(*Whole)
 			if a == nil {
@@ -627,7 +628,7 @@
 		}
 	}))
 	send := func(ctx context.Context) engine.Reply {
-		return u.SendWhole(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(balancer.Micros) bool { return true }},
+		return u.SendWhole(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
 			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
 	}
 	for i := range 4 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
 )
 
 // Code numbers an event or an action; the two have separate code spaces.
@@ -134,7 +135,7 @@
 	Token    uint32           // TimeoutFired
 	Endpoint uint32           // HealthResult
 	Status   balancer.Status
-	Latency  balancer.Micros
+	Latency  monotime.Micros
 	Load     []float32
 	From     uint16 // Whisper
 	Data     []byte
@@ -157,7 +158,7 @@
 }
 
 // Reset starts on a frame from ReadFrame and returns its number and clock.
-func (d *Decoder) Reset(frame []byte) (batch uint32, now balancer.Micros, err error) {
+func (d *Decoder) Reset(frame []byte) (batch uint32, now monotime.Micros, err error) {
 	if len(frame) < batchHeader {
 		return 0, 0, &FrameError{"batch header", len(frame), "shorter than a header"}
 	}
@@ -165,7 +166,7 @@
 		return 0, 0, &FrameError{"batch header", 4, fmt.Sprintf("size %d but %d bytes", size, len(frame))}
 	}
 	d.frame, d.at = frame, batchHeader
-	return binary.BigEndian.Uint32(frame), balancer.Micros(binary.BigEndian.Uint64(frame[8:])), nil
+	return binary.BigEndian.Uint32(frame), monotime.Micros(binary.BigEndian.Uint64(frame[8:])), nil
 }
 
 func (d *Decoder) fail(reason string) {
@@ -286,24 +287,24 @@
 		d.membership(e)
 	case Request:
 		r := &e.Request
-		r.ID, r.Key, r.Deadline, r.Hint = d.u64(), d.u64(), balancer.Micros(d.u64()), balancer.Micros(d.u32())
+		r.ID, r.Key, r.Deadline, r.Hint = d.u64(), d.u64(), monotime.Micros(d.u64()), monotime.Micros(d.u32())
 		opts := d.u8()
 		r.HasHint, r.Retry, r.Write = opts&1 != 0, opts&2 != 0, opts&4 != 0
 		r.Tenant, r.Class = d.u16(), d.u8()
 	case Headers:
 		o := &e.Outcome
-		o.ID, o.Attempt, o.Endpoint, o.Latency = d.u64(), int(d.u16()), d.u32(), balancer.Micros(d.u32())
+		o.ID, o.Attempt, o.Endpoint, o.Latency = d.u64(), int(d.u16()), d.u32(), monotime.Micros(d.u32())
 	case Answer:
 		o := &e.Outcome
 		o.ID, o.Attempt, o.Endpoint = d.u64(), int(d.u16()), d.u32()
-		o.Status, o.Latency, o.Settled = d.status(), balancer.Micros(d.u32()), d.u8() != 0
+		o.Status, o.Latency, o.Settled = d.status(), monotime.Micros(d.u32()), d.u8() != 0
 		o.Load = d.loads()
 	case CancelledByClient:
 		e.Outcome.ID = d.u64()
 	case TimeoutFired:
 		e.Token = d.u32()
 	case HealthResult:
-		e.Endpoint, e.Status, e.Latency = d.u32(), d.status(), balancer.Micros(d.u32())
+		e.Endpoint, e.Status, e.Latency = d.u32(), d.status(), monotime.Micros(d.u32())
 		e.Load = d.loads()
 	case Whisper:
 		e.From = d.u16()
@@ -357,7 +358,7 @@
 			d.fail(fmt.Sprintf("unknown endpoint status %d", state))
 		}
 		e.Share = math.Float32frombits(d.u32())
-		e.StartTime = balancer.Micros(d.u64())
+		e.StartTime = monotime.Micros(d.u64())
 		list = append(list, e)
 	}
 	d.lists[id], d.known[id] = list, true
@@ -421,13 +422,13 @@
 func (w *Reply) u32(v uint32) { w.buf = binary.BigEndian.AppendUint32(w.buf, v) }
 func (w *Reply) u64(v uint64) { w.buf = binary.BigEndian.AppendUint64(w.buf, v) }
 
-func (w *Reply) micros(v balancer.Micros) { w.u32(uint32(min(max(v, 0), math.MaxUint32))) }
+func (w *Reply) micros(v monotime.Micros) { w.u32(uint32(min(max(v, 0), math.MaxUint32))) }
 
 // As names the instance that issues the following actions.
 func (w *Reply) As(instance uint32) { w.rec(As, 4); w.u32(instance) }
 
 // Deliver writes a deliver record.
-func (w *Reply) Deliver(id uint64, endpoint uint32, timeout balancer.Micros) {
+func (w *Reply) Deliver(id uint64, endpoint uint32, timeout monotime.Micros) {
 	w.rec(Deliver, 16)
 	w.u64(id)
 	w.u32(endpoint)
@@ -435,7 +436,7 @@
 }
 
 // Decline writes a decline record.
-func (w *Reply) Decline(id uint64, retryIn balancer.Micros) {
+func (w *Reply) Decline(id uint64, retryIn monotime.Micros) {
 	w.rec(Decline, 12)
 	w.u64(id)
 	w.micros(retryIn)
@@ -452,7 +453,7 @@
 }
 
 // Arm writes an arm record.
-func (w *Reply) Arm(delay balancer.Micros, token uint32) {
+func (w *Reply) Arm(delay monotime.Micros, token uint32) {
 	w.rec(Arm, 8)
 	w.micros(delay)
 	w.u32(token)
