Define the microsecond type once, in package monotime

Need: type Micros was declared in 26 packages, each an alias of int64. Change: one alias in internal/monotime, used by its qualified name everywhere; the checks of what decision packages and the balancer may import name that package, which holds nothing but the type and its units. The types stay identical.

--- a/internal/decide/imports_test.go
+++ b/internal/decide/imports_test.go
@@ -12,9 +12,9 @@
 	"testing"
 )
 
-// pure are the packages of the standard library that a decision may use: none reads a clock or does I/O of its own
+// pure are the packages of the standard library that a decision may use, and the type of its instants: none reads a clock or does I/O of its own
 // accord. Of math/rand/v2 only what is seeded may be used.
-var pure = []string{"cmp", "bytes", "container/heap", "container/list", "errors", "fmt", "iter", "maps", "math", "math/bits",
+var pure = []string{"dunlinsail/internal/monotime", "cmp", "bytes", "container/heap", "container/list", "errors", "fmt", "iter", "maps", "math", "math/bits",
 	"math/rand/v2", "slices", "sort", "strconv", "strings", "unicode/utf8"}
 
 // seeded are the names of math/rand/v2 that draw from a source with a seed.
