--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -569,7 +569,8 @@
 }
 
 // Probed handles a probe's answer.
-func (b *Balancer) Probed(now monotime.Micros, id uint32, status Status, latency monotime.Micros, load []float32) {
+func (b *Balancer) Probed(now monotime.Micros, id uint32, status Status,
+	latency monotime.Micros, load []float32) {
 	e := b.byID[id]
 	if e == nil {
 		return
@@ -1158,7 +1159,8 @@
 func (b *Balancer) part(now monotime.Micros) int64 { return now / max(1, b.s.RetryWithin/withinParts) }
 
 // record feeds an outcome to the averages.
-func (b *Balancer) record(now monotime.Micros, r *request, a *attempt, status Status, latency monotime.Micros) {
+func (b *Balancer) record(now monotime.Micros, r *request, a *attempt, status Status,
+	latency monotime.Micros) {
 	e := a.ep
 	switch status {
 	case OK:
