Split the rollout state machine by concern, one step a line

One file of 616 lines held versions, stored state, commands, and all steps of the machine. It is now doc, version, state, command, machine, offer, apply, rollback and persist. The note of attempts, rejections, known versions and epochs became methods of PersistentState. ResumeApplying (before: Adopt) had no caller and is gone. Names of actions and phases for people follow the constants; the machine's tests compare the new ones.

--- /dev/null
+++ b/internal/decide/rollout/machine.go
@@ -0,0 +1,146 @@
+package rollout
+
+import (
+	"math/rand/v2"
+
+	"dunlinsail/internal/monotime"
+)
+
+// Settings configure a StateMachine.
+type Settings struct {
+	CanaryEnabled         bool            // an applied version is unconfirmed until HandleCanaryResult
+	MinValidationInterval monotime.Micros // from the start of one validation to the next
+	Seed                  uint64          // of the jitter of retries
+}
+
+// Phase is the state of a StateMachine.
+type Phase uint8
+
+// The phases.
+const (
+	PhaseIdle Phase = iota
+	PhaseValidating
+	PhaseApplying
+	PhaseCanary
+	PhaseRollingBack
+)
+
+var phaseNames = [...]string{"idle", "validating", "applying", "canary", "rolling back"}
+
+// String returns the phase's name for people.
+func (p Phase) String() string { return phaseNames[p] }
+
+// rngStream is the second half of the random generator's seed.
+const rngStream = 0x76
+
+// StateMachine is the rollout state of one instance. Make one with New. It is not safe for concurrent use.
+type StateMachine struct {
+	settings Settings
+	rng      *rand.Rand
+
+	phase            Phase
+	running          LayeredVersion // applied
+	unconfirmed      *Version       // the part of running that is not confirmed, nil if all is
+	rollbackRequired bool           // the canary of unconfirmed found it worse
+	candidate        *Version       // being validated or applied
+	pending          [2]*Version    // by source
+	paused           bool
+	nextValidationAt monotime.Micros // earliest instant of the next validation
+	rollbackAttempts int
+	rollbackRetryAt  monotime.Micros // 0: none is due, or one is in progress
+
+	persistent      PersistentState
+	persisting      bool // an ActionPersist is not answered yet
+	persistAgain    bool // persistent has changed since
+	persistFailures int  // in a row
+	persistRetryAt  monotime.Micros
+	persistError    string // "" if persistent was stored
+}
+
+// New returns a state machine for a process that starts with running: the last known good version, or the local file.
+func New(settings Settings, running LayeredVersion, persistent PersistentState) *StateMachine {
+	m := &StateMachine{
+		settings:   settings,
+		rng:        rand.New(rand.NewPCG(settings.Seed, rngStream)),
+		running:    running,
+		persistent: persistent,
+	}
+	if m.persistent.LastKnownGood == nil {
+		m.persistent.LastKnownGood = &running
+	}
+	return m
+}
+
+// UpdateSettings replaces the settings except Seed. A canary in progress goes on.
+func (m *StateMachine) UpdateSettings(settings Settings) {
+	settings.Seed = m.settings.Seed
+	m.settings = settings
+}
+
+// ForgiveLastAttempt takes back one attempt to apply the unconfirmed version: the process that made it ended for
+// another reason, such as a hot restart or a stop.
+func (m *StateMachine) ForgiveLastAttempt() {
+	if m.persistent.ApplyAttempts > 0 {
+		m.persistent.ApplyAttempts--
+	}
+}
+
+// Running returns what is applied, and whether it is on canary.
+func (m *StateMachine) Running() (version LayeredVersion, onCanary bool) {
+	return m.running, m.phase == PhaseCanary
+}
+
+// Phase returns the phase and the version that it is about, nil while idle.
+func (m *StateMachine) Phase() (Phase, *Version) {
+	if m.candidate != nil {
+		return m.phase, m.candidate
+	}
+	return m.phase, m.unconfirmed
+}
+
+// Pending returns the version of a source that waits for its validation, nil for none.
+func (m *StateMachine) Pending(source Source) *Version { return m.pending[source] }
+
+// PersistentState returns the state to store. It belongs to the machine, and may be read until the next event only.
+func (m *StateMachine) PersistentState() *PersistentState { return &m.persistent }
+
+// PersistError returns why the state could not be stored last, "" if it was.
+func (m *StateMachine) PersistError() string { return m.persistError }
+
+// Deadline returns the instant at which HandleDeadline is due, 0 for none.
+func (m *StateMachine) Deadline() monotime.Micros {
+	var deadline monotime.Micros
+	consider := func(instant monotime.Micros) {
+		if instant > 0 && (deadline == 0 || instant < deadline) {
+			deadline = instant
+		}
+	}
+	if m.canStartNext() && (m.pending[SourceControlPlane] != nil || m.pending[SourceFile] != nil) {
+		consider(m.nextValidationAt)
+	}
+	if m.phase == PhaseRollingBack && !m.paused {
+		consider(m.rollbackRetryAt)
+	}
+	if !m.persisting {
+		consider(m.persistRetryAt)
+	}
+	return deadline
+}
+
+// HandleDeadline does what is due at now. It may be called early.
+func (m *StateMachine) HandleDeadline(now monotime.Micros) []Command {
+	var commands []Command
+	if !m.persisting && m.persistRetryAt > 0 && now >= m.persistRetryAt {
+		commands = m.persist()
+	}
+	// A pending version may replace the one that cannot be rolled back, and goes first.
+	commands = append(commands, m.startNext(now)...)
+	return append(commands, m.retryRollback(now)...)
+}
+
+// SetPaused stops the machine from starting to process another version, or ends that: during a hot restart or a
+// shutdown.
+func (m *StateMachine) SetPaused(now monotime.Micros, paused bool) []Command {
+	m.paused = paused
+	return m.startNext(now)
+}
--- a/internal/decide/rollout/versions_test.go
+++ b/internal/decide/rollout/versions_test.go
@@ -27,7 +27,7 @@
 	got []string
 	// What the host does at once; a test that wants to wait takes the action out.
 	does map[Action]bool
-	bad  map[string]string // reasons, by "check 3", "apply 3", "back 3", "save"
+	bad  map[string]string // reasons, by "validate 3", "apply 3", "roll back 3", "save"
 }
 
 func begin(t *testing.T, trial bool) *story {
@@ -90,7 +90,7 @@
 func TestAppliedAndConfirmed(t *testing.T) {
 	s := begin(t, true)
 	s.offer(service("a", 1))
-	s.wants("check a/1", "apply a/1", "ack a/1", "try a/1")
+	s.wants("validate a/1", "apply a/1", "ack a/1", "start canary a/1")
 	if g := s.m.PersistentState(); g.Unconfirmed == nil || g.Unconfirmed.Number != 1 || g.LastKnownGood.ControlPlane != nil {
 		t.Errorf("on trial %+v", g)
 	}
@@ -109,18 +109,18 @@
 // What does not hold is refused with its reason, at each stage, again without work, and what ran goes on.
 func TestRefused(t *testing.T) {
 	s := begin(t, true)
-	s.bad["check a/1"], s.bad["apply a/2"] = "no sense", "no room"
+	s.bad["validate a/1"], s.bad["apply a/2"] = "no sense", "no room"
 	s.offer(service("a", 1))
-	s.wants("check a/1", "nack a/1: no sense")
+	s.wants("validate a/1", "nack a/1: no sense")
 	s.offer(service("a", 1))
 	s.wants("nack a/1: no sense")
 	s.offer(service("a", 2))
-	s.wants("check a/2", "apply a/2", "nack a/2: no room")
+	s.wants("validate a/2", "apply a/2", "nack a/2: no room")
 	s.runs("file 1")
 	s.offer(service("a", 3))
 	s.got = nil
 	s.did(s.m.HandleCanaryResult(s.now, "slow"))
-	s.wants("nack a/3: slow", "back a/3")
+	s.wants("nack a/3: slow", "roll back a/3")
 	s.runs("file 1")
 	s.offer(service("a", 3))
 	s.wants("nack a/3: slow")
@@ -133,16 +133,16 @@
 	s.got = nil
 	s.offer(service("a", 3))
 	s.wants("nack a/3: slow")
-	delete(s.bad, "check a/1")
+	delete(s.bad, "validate a/1")
 	s.offer(service("a", 1))
-	s.wants("check a/1", "apply a/1", "ack a/1", "try a/1")
+	s.wants("validate a/1", "apply a/1", "ack a/1", "start canary a/1")
 }
 
 // Versions out of order, with another content, of an epoch that was left; and what goes back all the same.
 func TestOrder(t *testing.T) {
 	s := begin(t, false)
 	s.offer(service("a", 5))
-	s.wants("check a/5", "apply a/5", "ack a/5 finally")
+	s.wants("validate a/5", "apply a/5", "ack a/5 finally")
 	s.offer(service("a", 4))
 	s.wants("nack a/4: version a/4 is older than a/5")
 	other := service("a", 5)
@@ -150,16 +150,16 @@
 	s.offer(other)
 	s.wants("nack a/5: version a/5 came with another content before")
 	s.offer(service("b", 1)) // its numbers begin anew
-	s.wants("check b/1", "apply b/1", "ack b/1 finally")
+	s.wants("validate b/1", "apply b/1", "ack b/1 finally")
 	s.offer(service("a", 6))
 	s.wants(`nack a/6: version a/6: epoch "a" was left for a newer one`)
 	back := service("a", 5)
 	back.Rollback = true
 	s.offer(back)
-	s.wants("check a/5", "apply a/5", "ack a/5 finally")
+	s.wants("validate a/5", "apply a/5", "ack a/5 finally")
 	s.runs("a/5 over file 1")
 	s.offer(service("a", 6))
-	s.wants("check a/6", "apply a/6", "ack a/6 finally")
+	s.wants("validate a/6", "apply a/6", "ack a/6 finally")
 	s.offer(service("b", 2))
 	s.wants(`nack b/2: version b/2: epoch "b" was left for a newer one`)
 }
@@ -172,7 +172,7 @@
 	for n := uint64(2); n < 100; n++ {
 		s.did(s.m.Offer(s.now, service("a", n)))
 	}
-	if len(s.got) != 97 || s.got[0] != "dropped a/2" || s.got[96] != "dropped a/98" {
+	if len(s.got) != 97 || s.got[0] != "superseded a/2" || s.got[96] != "superseded a/98" {
 		t.Errorf("%q", s.got)
 	}
 	s.got = nil
@@ -183,7 +183,7 @@
 	s.wants()
 	s.now += sec
 	s.did(s.m.HandleDeadline(s.now))
-	s.wants("check a/99", "apply a/99", "ack a/99 finally")
+	s.wants("validate a/99", "apply a/99", "ack a/99 finally")
 }
 
 // During a trial a version waits, unless it is to go back to or the operator's; what comes to nothing lets the trial begin
@@ -196,28 +196,28 @@
 	s.got = nil
 	s.offer(service("a", 3))
 	s.offer(service("a", 4))
-	s.wants("dropped a/3")
+	s.wants("superseded a/3")
 	s.did(s.m.HandleCanaryResult(s.now, ""))
-	s.wants("ack a/2 finally", "check a/4", "apply a/4", "ack a/4", "try a/4")
+	s.wants("ack a/2 finally", "validate a/4", "apply a/4", "ack a/4", "start canary a/4")
 	back := service("a", 2)
 	back.Rollback = true
-	s.bad["check a/2"] = "not any more"
+	s.bad["validate a/2"] = "not any more"
 	s.offer(back)
-	s.wants("end-try", "check a/2", "nack a/2: not any more", "try a/4")
+	s.wants("stop canary", "validate a/2", "nack a/2: not any more", "start canary a/4")
 	s.offer(file(2))
-	s.wants("end-try", "check file 2", "apply file 2", "ack file 2", "try file 2")
+	s.wants("stop canary", "validate file 2", "apply file 2", "ack file 2", "start canary file 2")
 	if g := s.m.PersistentState().LastKnownGood; g.ControlPlane.Number != 2 || g.File.Number != 1 {
 		t.Errorf("good %v: neither part of what runs is confirmed", g)
 	}
 	s.did(s.m.HandleCanaryResult(s.now, "worse"))
-	s.wants("nack file 2: worse", "back file 2")
+	s.wants("nack file 2: worse", "roll back file 2")
 	s.runs("a/2 over file 1")
 }
 
 // Where going back fails it is tried again, ever more seldom, and a version that comes meanwhile goes first.
 func TestGoingBackFails(t *testing.T) {
 	s := begin(t, true)
-	s.bad["back a/1"] = "no process"
+	s.bad["roll back a/1"] = "no process"
 	s.offer(service("a", 1))
 	s.did(s.m.HandleCanaryResult(s.now, "worse"))
 	s.got = nil
@@ -237,15 +237,15 @@
 	s.got = nil
 	s.runs("a/1 over file 1")
 	s.offer(service("a", 2))
-	s.wants("check a/2", "apply a/2", "ack a/2", "try a/2")
-	s.bad["back a/2"], s.bad["check a/3"] = "no process", "bad"
+	s.wants("validate a/2", "apply a/2", "ack a/2", "start canary a/2")
+	s.bad["roll back a/2"], s.bad["validate a/3"] = "no process", "bad"
 	s.did(s.m.HandleCanaryResult(s.now, "worse"))
 	s.offer(service("a", 3))
-	s.wants("nack a/2: worse", "back a/2", "check a/3", "nack a/3: bad")
-	delete(s.bad, "back a/2")
+	s.wants("nack a/2: worse", "roll back a/2", "validate a/3", "nack a/3: bad")
+	delete(s.bad, "roll back a/2")
 	s.now = s.m.Deadline()
 	s.did(s.m.HandleDeadline(s.now))
-	s.wants("back a/2")
+	s.wants("roll back a/2")
 	s.runs("file 1")
 }
 
@@ -260,7 +260,7 @@
 		t.Errorf("deadline %d", at)
 	}
 	s.did(s.m.SetPaused(s.now, false))
-	s.wants("check a/1", "apply a/1", "ack a/1", "try a/1")
+	s.wants("validate a/1", "apply a/1", "ack a/1", "start canary a/1")
 }
 
 // A version whose processes ended twice while they tried it is not tried again.
@@ -270,13 +270,13 @@
 		s := begin(t, true)
 		s.m = New(Settings{CanaryEnabled: true}, LayeredVersion{File: file(1)}, kept)
 		s.offer(service("a", 1))
-		s.wants("check a/1", "apply a/1", "ack a/1", "try a/1")
+		s.wants("validate a/1", "apply a/1", "ack a/1", "start canary a/1")
 		kept = *s.m.PersistentState()
 	}
 	s := begin(t, true)
 	s.m = New(Settings{CanaryEnabled: true}, LayeredVersion{File: file(1)}, kept)
 	s.offer(service("a", 1))
-	s.wants("check a/1", "nack a/1: 2 processes ended while they tried version a/1")
+	s.wants("validate a/1", "nack a/1: 2 processes ended while they tried version a/1")
 }
 
 // What cannot be written down is tried again, and holds nothing up.
@@ -284,7 +284,7 @@
 	s := begin(t, false)
 	s.bad["save"] = "no space"
 	s.offer(service("a", 1))
-	s.wants("check a/1", "apply a/1", "ack a/1 finally")
+	s.wants("validate a/1", "apply a/1", "ack a/1 finally")
 	if s.m.PersistError() != "no space" {
 		t.Errorf("%q", s.m.PersistError())
 	}
@@ -367,7 +367,7 @@
 	switch x.Action {
 	case ActionValidate:
 		if w.trial {
-			w.Fatalf("check of %v during a trial", v.ID)
+			w.Fatalf("validate of %v during a trial", v.ID)
 		}
 		if w.checked = nil; w.sound[v.Digest] {
 			w.checked = &v
@@ -397,14 +397,14 @@
 		w.take(w.m.HandleApplied(w.now, reason(w.fits[v.Digest])))
 	case ActionStartCanary:
 		if x.Target.String() != w.running.String() {
-			w.Fatalf("try %v, while %v runs", x.Target, w.running)
+			w.Fatalf("start canary %v, while %v runs", x.Target, w.running)
 		}
 		w.trial = true
 	case ActionStopCanary:
 		w.trial = false
 	case ActionRollBack:
 		if x.Target.String() != w.good.String() {
-			w.Fatalf("back to %v, and %v is the last good one", x.Target, w.good)
+			w.Fatalf("roll back to %v, and %v is the last good one", x.Target, w.good)
 		}
 		if ok {
 			w.running = x.Target
