--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -110,17 +110,17 @@
 func tellWork(out io.Writer, v *consensus.View) error {
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s leads; %d instances obey", v.Leader, len(v.Instances))
-	if v.Held {
+	if v.OnHold {
 		fmt.Fprint(w, "; all is held")
 	}
 	fmt.Fprintln(w)
 	for _, i := range v.Silent {
 		fmt.Fprintf(w, "%s has not been heard for long: no further machine can be told ahead. If its process is dead for certain: work forget %s\n", i.Name, i.Name)
 	}
-	if len(v.Items) > 0 {
+	if len(v.Machines) > 0 {
 		fmt.Fprintln(w, "MACHINE\tIS\tSINCE\tJOBS\tWAITS FOR")
 	}
-	for _, i := range v.Items {
+	for _, i := range v.Machines {
 		waits := i.WaitReason
 		switch {
 		case i.Overdue:
@@ -130,7 +130,7 @@
 		}
 		fmt.Fprintf(w, "%s\t%v\t%v ago\t%s\t%s\n", i.Name, i.Phase, micros(v.Now-i.Since).Round(time.Second), strings.Join(i.Requests, " "), waits)
 	}
-	for _, j := range v.Jobs {
+	for _, j := range v.Requests {
 		fmt.Fprintf(w, "%s by %s: %s, for %v\n", j.ID, j.Requester, j.Reason, micros(j.Duration))
 	}
 	return w.Flush()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -326,7 +326,7 @@
 	if !w.On {
 		return nil
 	}
-	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{MaxOut: w.Most, MaxOutPerZone: w.Zone, MaxOutPerCell: w.Cell, MaxOutPerKind: w.Kind,
+	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, TickInterval: w.Lease.Micros() / 20, Maintenance: maintenance.Settings{MaxOut: w.Most, MaxOutPerZone: w.Zone, MaxOutPerCell: w.Cell, MaxOutPerKind: w.Kind,
 		MaxAnnounced: w.Ahead, Headroom: w.Room, LeaseDuration: w.Lease.Micros(), InFlightGrace: w.Quiet.Micros(), Warmup: c.Rules.WarmAfter.Micros(), MaxClockDrift: c.Peers.Drift}}
 }
 
--- a/internal/consensus/encoding_test.go
+++ b/internal/consensus/encoding_test.go
@@ -63,8 +63,8 @@
 // encoded returns an empty value of each type that instances send each other, the log holds, or an operator's call carries.
 func encoded() map[string]any {
 	return map[string]any{
-		"word":  &Word{},
-		"entry": &entry{},
+		"word":  &Message{},
+		"entry": &logEntry{},
 		"view":  &View{},
 		"state": &maintenance.State{},
 	}
@@ -143,7 +143,7 @@
 				if len(e.GetData()) == 0 {
 					continue
 				}
-				var x entry
+				var x logEntry
 				d := json.NewDecoder(bytes.NewReader(e.GetData()))
 				d.DisallowUnknownFields()
 				if err := d.Decode(&x); err != nil {
@@ -153,7 +153,7 @@
 					t.Errorf("entry %d is encoded as\n%s\nit was\n%s", e.GetIndex(), text, e.GetData())
 				}
 			}
-			node, err := New(0, Settings{Self: name, Voters: []string{"i0", "i1", "i2"}, Work: bounds, Turn: second / 20}, 7, disk)
+			node, err := New(0, Settings{Self: name, Voters: []string{"i0", "i1", "i2"}, Maintenance: bounds, TickInterval: second / 20}, 7, disk)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -180,7 +180,7 @@
 func TestFleetGoesOnFromFilesOfTheBuildBefore(t *testing.T) {
 	w := newWorld(t, 3, 1, 4)
 	for _, p := range w.all[:3] {
-		node, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Work: bounds, Turn: w.turn}, w.lives+1, openStored(t, p.name))
+		node, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Maintenance: bounds, TickInterval: w.turn}, w.lives+1, openStored(t, p.name))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -202,7 +202,7 @@
 // attach has a process of the world run by a node.
 func attach(w *world, p *process, node *Node) {
 	p.node = node
-	node.Sees(func() maintenance.FleetStatus {
+	node.SetSources(func() maintenance.FleetStatus {
 		return maintenance.FleetStatus{Machines: w.machines, Usage: 3, PeakUsage: 3}
 	}, func(machine string) int {
 		if p.open[machine] > w.now {
@@ -213,7 +213,7 @@
 }
 
 // openStored opens a copy of the file that a voter of the build before has left.
-func openStored(t testing.TB, name string) *File {
+func openStored(t testing.TB, name string) *BoltStore {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("testdata", "stored", "voter-"+name+".bolt"))
 	if err != nil {
@@ -223,7 +223,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	disk, err := OpenFile(path)
+	disk, err := OpenBoltStore(path)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/consensus/file.go
+++ b/internal/consensus/file.go
@@ -12,24 +12,24 @@
 )
 
 // File is a Disk: a file of go.etcd.io/bbolt, which keeps a change whole or not at all and has written it when it says so.
-type File struct{ db *bbolt.DB }
+type BoltStore struct{ db *bbolt.DB }
 
 // ErrSpoilt is wrapped by errors of a file whose content makes no sense.
-var ErrSpoilt = errors.New("the file is spoilt")
+var ErrCorrupt = errors.New("the file is spoilt")
 
 var (
 	bucketMeta    = []byte("meta")
 	bucketEntries = []byte("entries")
-	keyHard       = []byte("hard")
+	keyHardState  = []byte("hard")
 	keySnapshot   = []byte("snapshot")
 )
 
 // openFor bounds how long another process that has the file open is waited for.
-const openFor = 2 * time.Second
+const openTimeout = 2 * time.Second
 
 // OpenFile opens a file, or makes it. One process has it at a time.
-func OpenFile(path string) (*File, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openFor})
+func OpenBoltStore(path string) (*BoltStore, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -45,38 +45,38 @@
 		db.Close()
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return &File{db}, nil
+	return &BoltStore{db}, nil
 }
 
 // Close closes the file.
-func (f *File) Close() error { return f.db.Close() }
+func (f *BoltStore) Close() error { return f.db.Close() }
 
 // Load returns what was kept.
-func (f *File) Load() (k Kept, blank bool, err error) {
+func (f *BoltStore) Load() (k StoredLog, blank bool, err error) {
 	err = f.db.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
 		if text := meta.Get(keySnapshot); text == nil {
 			blank = true
 			return nil
 		} else if k.Snapshot = (&raftpb.Snapshot{}); proto.Unmarshal(text, k.Snapshot) != nil {
-			return fmt.Errorf("%w: its snapshot", ErrSpoilt)
+			return fmt.Errorf("%w: its snapshot", ErrCorrupt)
 		}
-		if text := meta.Get(keyHard); text != nil {
-			if k.Hard = (&raftpb.HardState{}); proto.Unmarshal(text, k.Hard) != nil {
-				return fmt.Errorf("%w: its vote", ErrSpoilt)
+		if text := meta.Get(keyHardState); text != nil {
+			if k.HardState = (&raftpb.HardState{}); proto.Unmarshal(text, k.HardState) != nil {
+				return fmt.Errorf("%w: its vote", ErrCorrupt)
 			}
 		}
 		last := k.Snapshot.GetMetadata().GetIndex()
 		return tx.Bucket(bucketEntries).ForEach(func(key, text []byte) error {
 			e := &raftpb.Entry{}
 			if proto.Unmarshal(text, e) != nil || len(key) != 8 || binary.BigEndian.Uint64(key) != e.GetIndex() {
-				return fmt.Errorf("%w: an entry", ErrSpoilt)
+				return fmt.Errorf("%w: an entry", ErrCorrupt)
 			}
 			if e.GetIndex() <= last {
 				return nil // in the snapshot
 			}
 			if last++; e.GetIndex() != last {
-				return fmt.Errorf("%w: entry %d is missing", ErrSpoilt, last)
+				return fmt.Errorf("%w: entry %d is missing", ErrCorrupt, last)
 			}
 			k.Entries = append(k.Entries, e)
 			return nil
@@ -86,7 +86,7 @@
 }
 
 // Save keeps what is new.
-func (f *File) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+func (f *BoltStore) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
 	if hard == nil && len(entries) == 0 && snapshot.GetMetadata().GetIndex() == 0 {
 		return nil
 	}
@@ -103,18 +103,18 @@
 			if err := put(meta, keySnapshot, snapshot); err != nil {
 				return err
 			}
-			if err := forget(log, 0, snapshot.GetMetadata().GetIndex()+1); err != nil {
+			if err := deleteEntries(log, 0, snapshot.GetMetadata().GetIndex()+1); err != nil {
 				return err
 			}
 		}
 		if hard != nil {
-			if err := put(meta, keyHard, hard); err != nil {
+			if err := put(meta, keyHardState, hard); err != nil {
 				return err
 			}
 		}
 		if len(entries) > 0 {
 			// What another leader has put there is over.
-			if err := forget(log, entries[0].GetIndex(), 0); err != nil {
+			if err := deleteEntries(log, entries[0].GetIndex(), 0); err != nil {
 				return err
 			}
 		}
@@ -128,7 +128,7 @@
 }
 
 // forget forgets entries from an index on and before another; 0 is no bound.
-func forget(log *bbolt.Bucket, from, before uint64) error {
+func deleteEntries(log *bbolt.Bucket, from, before uint64) error {
 	var keys [][]byte
 	for c, key := log.Cursor(), []byte(nil); ; {
 		if key == nil {
--- a/internal/consensus/file_test.go
+++ b/internal/consensus/file_test.go
@@ -17,7 +17,7 @@
 // What was saved is there, with what another leader put in its place; what is cut or spoilt is an error.
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "order")
-	f, err := OpenFile(path)
+	f, err := OpenBoltStore(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,24 +32,24 @@
 		}
 	}
 	f.Close()
-	if f, err = OpenFile(path); err != nil {
+	if f, err = OpenBoltStore(path); err != nil {
 		t.Fatal(err)
 	}
 	k, blank, err := f.Load()
-	if err != nil || blank || len(k.Entries) != 2 || k.Entries[1].GetTerm() != 2 || k.Hard.GetTerm() != 2 {
+	if err != nil || blank || len(k.Entries) != 2 || k.Entries[1].GetTerm() != 2 || k.HardState.GetTerm() != 2 {
 		t.Fatalf("%+v, blank %v, %v", k, blank, err)
 	}
 	if err := f.Save(nil, []*raftpb.Entry{entryAt(6, 2)}, nil); err != nil { // 4 and 5 are missing
 		t.Fatal(err)
 	}
-	if _, _, err := f.Load(); !errors.Is(err, ErrSpoilt) {
+	if _, _, err := f.Load(); !errors.Is(err, ErrCorrupt) {
 		t.Errorf("a hole: %v", err)
 	}
 	f.Close()
 	if err := os.WriteFile(path, []byte("not a file of that kind"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := OpenFile(path); err == nil {
+	if _, err := OpenBoltStore(path); err == nil {
 		t.Error("a spoilt file is opened")
 	}
 }
--- a/internal/consensus/settle.go
+++ b/internal/consensus/settle.go
@@ -27,47 +27,47 @@
 
 // Settings are the same for all instances of a fleet, but for Self.
 type Settings struct {
-	Self   string
-	Voters []string // names, an odd number of them
-	Work   maintenance.Settings
-	Turn   monotime.Micros // of raft's clock: a leader is missed after ten to twenty
+	Self         string
+	Voters       []string // names, an odd number of them
+	Maintenance  maintenance.Settings
+	TickInterval monotime.Micros // of raft's clock: a leader is missed after ten to twenty
 }
 
 // Disk keeps a voter's log. What it has said to be saved must be there after any end of the process.
-type Disk interface {
+type LogStore interface {
 	// Load returns what was kept; blank is that nothing ever was.
-	Load() (k Kept, blank bool, err error)
+	Load() (k StoredLog, blank bool, err error)
 	// Save keeps what is new, all of it or nothing, and returns once it is kept.
 	Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error
 }
 
 // Kept is what a Disk has.
-type Kept struct {
-	Hard     *raftpb.HardState
-	Snapshot *raftpb.Snapshot
-	Entries  []*raftpb.Entry
+type StoredLog struct {
+	HardState *raftpb.HardState
+	Snapshot  *raftpb.Snapshot
+	Entries   []*raftpb.Entry
 }
 
 // Word is what instances tell one another; one of its parts is set.
-type Word struct {
-	Raft    []byte                 `json:"Raft"`    // to a voter from a voter
-	Blank   bool                   `json:"Blank"`   // a voter's: nothing was ever kept by it
-	Report  *maintenance.Report    `json:"Report"`  // to who leads, or to any voter
-	Told    *maintenance.PlanGrant `json:"Told"`    // its answer,
-	Leader  string                 `json:"Leader"`  // or who leads, as far as is known
-	Command *Command               `json:"Command"` // of an operator, to who leads
-	Reply   *Reply                 `json:"Reply"`   // its answer
+type Message struct {
+	Raft            []byte                 `json:"Raft"`    // to a voter from a voter
+	NoLog           bool                   `json:"Blank"`   // a voter's: nothing was ever kept by it
+	Report          *maintenance.Report    `json:"Report"`  // to who leads, or to any voter
+	Grant           *maintenance.PlanGrant `json:"Told"`    // its answer,
+	Leader          string                 `json:"Leader"`  // or who leads, as far as is known
+	OperatorRequest *OperatorRequest       `json:"Command"` // of an operator, to who leads
+	OperatorReply   *OperatorReply         `json:"Reply"`   // its answer
 }
 
 // Command is what an operator says, with a number of its own.
-type Command struct {
-	Number uint64              `json:"Number"`
-	Look   bool                `json:"Look"` // at how all stands, in place of an order
-	Order  maintenance.Command `json:"Order"`
+type OperatorRequest struct {
+	Number  uint64              `json:"Number"`
+	View    bool                `json:"Look"` // at how all stands, in place of an order
+	Command maintenance.Command `json:"Order"`
 }
 
 // Reply answers a Command.
-type Reply struct {
+type OperatorReply struct {
 	Number uint64 `json:"Number"`
 	Answer string `json:"Answer"`
 	Error  string `json:"Error"`
@@ -75,18 +75,18 @@
 }
 
 // Out is a word that is to be told.
-type Out struct {
-	To   string
-	Word Word
+type Outgoing struct {
+	To      string
+	Message Message
 }
 
 // View is the order as who leads has it, for people.
 type View struct {
 	Leader    string                 `json:"Leader"`
 	Now       monotime.Micros        `json:"Now"`
-	Held      bool                   `json:"Held"`
-	Jobs      []maintenance.Request  `json:"Jobs"`
-	Items     []maintenance.Machine  `json:"Items"`
+	OnHold    bool                   `json:"Held"`
+	Requests  []maintenance.Request  `json:"Jobs"`
+	Machines  []maintenance.Machine  `json:"Items"`
 	Instances []maintenance.Instance `json:"Instances"`
 	Events    []maintenance.Event    `json:"Events"`
 	Silent    []maintenance.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
@@ -94,162 +94,164 @@
 
 // Node is one instance. Make one with New.
 type Node struct {
-	s      Settings
-	disk   Disk
-	duty   *maintenance.Follower
-	out    []Out
-	own    []Word                         // to this instance itself
-	facts  func() maintenance.FleetStatus // as this instance sees them; nil sees nothing
-	open   func(machine string) int
-	leader string // as far as is known
-	askAt  monotime.Micros
-	asked  int // reports since one was answered
+	settings          Settings
+	store             LogStore
+	follower          *maintenance.Follower
+	outgoing          []Outgoing
+	toSelf            []Message                      // to this instance itself
+	fleetStatus       func() maintenance.FleetStatus // as this instance sees them; nil sees nothing
+	inFlight          func(machine string) int
+	leader            string // as far as is known
+	reportAt          monotime.Micros
+	unansweredReports int // reports since one was answered
 
 	// Of a voter.
-	id      uint64
-	raw     *raft.RawNode // nil while it keeps no log
-	storage *raft.MemoryStorage
-	turnAt  monotime.Micros
-	blank   bool            // it has no log: the fleet has none yet, or this voter has lost its own
-	blanks  map[string]bool // voters that have none either
-	founded bool            // in this life
-	met     map[string]bool // voters that have said something of the log since
-	failed  error
-	applied uint64
-	state   *maintenance.State
-	snapped uint64
-	told    uint64 // version that was logged last
+	raftID           uint64
+	rawNode          *raft.RawNode // nil while it keeps no log
+	raftStorage      *raft.MemoryStorage
+	tickAt           monotime.Micros
+	noLog            bool            // it has no log: the fleet has none yet, or this voter has lost its own
+	votersWithoutLog map[string]bool // voters that have none either
+	bootstrapped     bool            // in this life
+	seenVoters       map[string]bool // voters that have said something of the log since
+	voterErr         error
+	appliedIndex     uint64
+	state            *maintenance.State
+	snapshotIndex    uint64
+	told             uint64 // version that was logged last
 
 	// Of who leads.
-	watch   *maintenance.Coordinator
-	term    uint64          // in which watch began
-	base    monotime.Micros // the state's clock as it began,
-	baseAt  monotime.Micros // and when
-	reads   uint64
-	reading []question // whose read index is under way
-	waiting []question // that wait for the next
-	pending map[string]monotime.Micros
-	origins map[uint64]origin
-	why     map[string]string
-	factsAt monotime.Micros
-	beatAt  monotime.Micros
-
-	replies map[uint64]Reply // to this instance's own commands
-	numbers uint64
-}
-
-type question struct {
+	coordinator     *maintenance.Coordinator
+	coordinatorTerm uint64          // in which watch began
+	clockBase       monotime.Micros // the state's clock as it began,
+	clockBaseAt     monotime.Micros // and when
+	readSequence    uint64
+	pendingReads    []readRequest // whose read index is under way
+	queuedReads     []readRequest // that wait for the next
+	retryAt         map[string]monotime.Micros
+	proposers       map[uint64]proposer
+	waitReasons     map[string]string
+	fleetStatusAt   monotime.Micros
+	clockEntryAt    monotime.Micros
+
+	replies    map[uint64]OperatorReply // to this instance's own commands
+	lastNumber uint64
+}
+
+type readRequest struct {
 	from   string
 	report maintenance.Report
 	number uint64 // of the read that it waits for
 }
 
-type origin struct {
+type proposer struct {
 	from   string
 	number uint64
 }
 
 // entry is what the log has.
-type entry struct {
-	ID    uint64              `json:"ID"` // of the proposal
-	Order maintenance.Command `json:"Order"`
+type logEntry struct {
+	ProposalID uint64              `json:"ID"` // of the proposal
+	Command    maintenance.Command `json:"Order"`
 }
 
 const (
-	compactEvery = 500 // entries from one snapshot to the next
-	pendingFor   = second
-	factsEvery   = second / 2
-	beatEvery    = second
+	snapshotInterval    = 500 // entries from one snapshot to the next
+	proposalRetry       = second
+	fleetStatusInterval = second / 2
+	clockEntryInterval  = second
 )
 
 // New returns an instance. disk is nil for one that is no voter. That a disk does not hold what can be gone on from is an error that is returned
 // beside the instance: it obeys and reports, and has no vote.
-func New(now monotime.Micros, s Settings, life uint64, disk Disk) (*Node, error) {
-	duty, err := maintenance.NewFollower(s.Work, life)
+func New(now monotime.Micros, s Settings, life uint64, disk LogStore) (*Node, error) {
+	duty, err := maintenance.NewFollower(s.Maintenance, life)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{s: s, disk: disk, duty: duty, open: func(string) int { return 0 }, askAt: now, turnAt: now, blanks: map[string]bool{}, met: map[string]bool{}, pending: map[string]monotime.Micros{},
-		origins: map[uint64]origin{}, replies: map[uint64]Reply{}, numbers: life<<20 | 1}
-	if n.state, err = maintenance.NewState(s.Work); err != nil {
+	n := &Node{settings: s, store: disk, follower: duty, inFlight: func(string) int { return 0 }, reportAt: now, tickAt: now, votersWithoutLog: map[string]bool{}, seenVoters: map[string]bool{}, retryAt: map[string]monotime.Micros{},
+		proposers: map[uint64]proposer{}, replies: map[uint64]OperatorReply{}, lastNumber: life<<20 | 1}
+	if n.state, err = maintenance.NewState(s.Maintenance); err != nil {
 		return nil, err
 	}
 	if at := slices.Index(s.Voters, s.Self); at >= 0 && disk != nil {
-		n.id = uint64(at + 1)
+		n.raftID = uint64(at + 1)
 		kept, blank, err := disk.Load()
 		if err != nil {
-			n.failed = err
+			n.voterErr = err
 			return n, fmt.Errorf("the order's log cannot be gone on from; this instance has no vote: %w", err)
 		}
 		if blank {
-			n.blank = true
+			n.noLog = true
 			return n, nil
 		}
-		return n, n.begin(kept)
+		return n, n.startRaft(kept)
 	}
 	return n, nil
 }
 
 // Sees says what tells how machines stand, and what is open at one.
-func (n *Node) Sees(facts func() maintenance.FleetStatus, open func(machine string) int) {
-	n.facts, n.open = facts, open
+func (n *Node) SetSources(facts func() maintenance.FleetStatus, open func(machine string) int) {
+	n.fleetStatus, n.inFlight = facts, open
 }
 
 // Duty is what this instance obeys.
-func (n *Node) Duty() *maintenance.Follower { return n.duty }
+func (n *Node) Follower() *maintenance.Follower { return n.follower }
 
 // Failed returns why this voter keeps no log any more; nil is that it does, or is none.
-func (n *Node) Failed() error { return n.failed }
+func (n *Node) VoterError() error { return n.voterErr }
 
 // Leads says whether this instance leads, as far as it knows.
-func (n *Node) Leads() bool { return n.raw != nil && n.raw.BasicStatus().RaftState == raft.StateLeader }
+func (n *Node) IsLeader() bool {
+	return n.rawNode != nil && n.rawNode.BasicStatus().RaftState == raft.StateLeader
+}
 
 // State is the order as far as this voter has applied it.
 func (n *Node) State() *maintenance.State { return n.state }
 
 // begin goes on from what was kept.
-func (n *Node) begin(k Kept) (err error) {
+func (n *Node) startRaft(k StoredLog) (err error) {
 	defer func() {
 		if p := recover(); p != nil { // as guard has it
-			err = n.fail(fmt.Errorf("the order's log makes no sense: %v", p))
+			err = n.stopVoting(fmt.Errorf("the order's log makes no sense: %v", p))
 		}
 	}()
-	n.storage = raft.NewMemoryStorage()
+	n.raftStorage = raft.NewMemoryStorage()
 	if k.Snapshot != nil && k.Snapshot.GetMetadata().GetIndex() > 0 {
-		if err := n.storage.ApplySnapshot(k.Snapshot); err != nil {
-			return n.fail(err)
+		if err := n.raftStorage.ApplySnapshot(k.Snapshot); err != nil {
+			return n.stopVoting(err)
 		}
-		if err := n.restore(k.Snapshot); err != nil {
-			return n.fail(err)
+		if err := n.restoreSnapshot(k.Snapshot); err != nil {
+			return n.stopVoting(err)
 		}
 	}
-	if k.Hard != nil {
-		if err := n.storage.SetHardState(k.Hard); err != nil {
-			return n.fail(err)
+	if k.HardState != nil {
+		if err := n.raftStorage.SetHardState(k.HardState); err != nil {
+			return n.stopVoting(err)
 		}
 	}
-	if err := n.storage.Append(k.Entries); err != nil {
-		return n.fail(err)
+	if err := n.raftStorage.Append(k.Entries); err != nil {
+		return n.stopVoting(err)
 	}
 	turns := 10
-	raw, err := raft.NewRawNode(&raft.Config{ID: n.id, ElectionTick: turns, HeartbeatTick: 2, Storage: n.storage, Applied: n.applied, MaxSizePerMsg: 256 << 10,
+	raw, err := raft.NewRawNode(&raft.Config{ID: n.raftID, ElectionTick: turns, HeartbeatTick: 2, Storage: n.raftStorage, Applied: n.appliedIndex, MaxSizePerMsg: 256 << 10,
 		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
 	if err != nil {
-		return n.fail(err)
+		return n.stopVoting(err)
 	}
-	n.raw = raw
+	n.rawNode = raw
 	return nil
 }
 
-func (n *Node) fail(err error) error {
-	n.failed, n.raw, n.watch = err, nil, nil
+func (n *Node) stopVoting(err error) error {
+	n.voterErr, n.rawNode, n.coordinator = err, nil, nil
 	return err
 }
 
 // found begins the log, once all voters have said that they have none.
-func (n *Node) found() {
+func (n *Node) bootstrap() {
 	voters := &raftpb.ConfState{}
-	for i := range n.s.Voters {
+	for i := range n.settings.Voters {
 		voters.Voters = append(voters.Voters, uint64(i+1))
 	}
 	text, err := json.Marshal(n.state)
@@ -258,265 +260,265 @@
 	}
 	snapshot := &raftpb.Snapshot{Data: text, Metadata: &raftpb.SnapshotMetadata{ConfState: voters, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
 	hard := &raftpb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
-	if err := n.disk.Save(hard, nil, snapshot); err != nil {
-		n.fail(err)
+	if err := n.store.Save(hard, nil, snapshot); err != nil {
+		n.stopVoting(err)
 		return
 	}
-	n.blank, n.founded = false, true
-	n.begin(Kept{Hard: hard, Snapshot: snapshot})
+	n.noLog, n.bootstrapped = false, true
+	n.startRaft(StoredLog{HardState: hard, Snapshot: snapshot})
 }
 
 // ---- Time ------------------------------------------------------------------
 
 // Next is when Tick has something to do.
-func (n *Node) Next() monotime.Micros { return min(n.askAt, n.turnAt) }
+func (n *Node) NextTick() monotime.Micros { return min(n.reportAt, n.tickAt) }
 
 // Out returns what is to be told since it was called last.
-func (n *Node) Out() []Out {
-	out := n.out
-	n.out = nil
+func (n *Node) TakeOutgoing() []Outgoing {
+	out := n.outgoing
+	n.outgoing = nil
 	return out
 }
 
 // guard has raft's own word that its log makes no sense, which it says by a panic, be the end of this voter's part and not of the process:
 // a log that was put back from an older copy is such a one.
-func (n *Node) guard() {
+func (n *Node) recoverRaftPanic() {
 	if p := recover(); p != nil {
-		n.fail(fmt.Errorf("the order's log makes no sense: %v", p))
+		n.stopVoting(fmt.Errorf("the order's log makes no sense: %v", p))
 	}
 }
 
 // Tick does what is due.
 func (n *Node) Tick(now monotime.Micros) {
-	defer n.guard()
-	for n.turnAt <= now {
-		n.turnAt += n.s.Turn
-		if now-n.turnAt > 20*n.s.Turn {
-			n.turnAt = now + n.s.Turn // it was stopped: what it missed is not made up for
+	defer n.recoverRaftPanic()
+	for n.tickAt <= now {
+		n.tickAt += n.settings.TickInterval
+		if now-n.tickAt > 20*n.settings.TickInterval {
+			n.tickAt = now + n.settings.TickInterval // it was stopped: what it missed is not made up for
 		}
 		switch {
-		case n.blank:
-			n.say(Word{Blank: true})
-		case n.raw != nil:
-			n.raw.Tick()
+		case n.noLog:
+			n.broadcast(Message{NoLog: true})
+		case n.rawNode != nil:
+			n.rawNode.Tick()
 		}
 	}
-	n.settle(now)
-	if now >= n.askAt {
-		n.report(now)
-		n.settle(now)
+	n.process(now)
+	if now >= n.reportAt {
+		n.sendReport(now)
+		n.process(now)
 	}
 }
 
 // settle carries out what has become due, also what this instance has to tell itself.
-func (n *Node) settle(now monotime.Micros) {
-	n.lead(now)
-	n.ready(now)
-	for len(n.own) > 0 {
-		w := n.own[0]
-		n.own = n.own[1:]
-		n.take(now, n.s.Self, w)
-		n.lead(now)
-		n.ready(now)
+func (n *Node) process(now monotime.Micros) {
+	n.runLeader(now)
+	n.handleReady(now)
+	for len(n.toSelf) > 0 {
+		w := n.toSelf[0]
+		n.toSelf = n.toSelf[1:]
+		n.handle(now, n.settings.Self, w)
+		n.runLeader(now)
+		n.handleReady(now)
 	}
 }
 
 // say tells all other voters.
-func (n *Node) say(w Word) {
-	for _, name := range n.s.Voters {
-		if name != n.s.Self {
-			n.out = append(n.out, Out{name, w})
+func (n *Node) broadcast(w Message) {
+	for _, name := range n.settings.Voters {
+		if name != n.settings.Self {
+			n.outgoing = append(n.outgoing, Outgoing{name, w})
 		}
 	}
 }
 
 // report reports to who leads, or to all voters where that is not known.
-func (n *Node) report(now monotime.Micros) {
-	n.askAt = now + n.s.Work.LeaseDuration/4
-	if n.asked++; n.asked > 3 {
+func (n *Node) sendReport(now monotime.Micros) {
+	n.reportAt = now + n.settings.Maintenance.LeaseDuration/4
+	if n.unansweredReports++; n.unansweredReports > 3 {
 		n.leader = ""
 	}
-	if l := n.knows(); l != "" {
+	if l := n.knownLeader(); l != "" {
 		n.leader = l
 	}
-	r := n.duty.NextReport(now, n.open)
-	if n.Leads() {
-		n.own = append(n.own, Word{Report: &r})
+	r := n.follower.NextReport(now, n.inFlight)
+	if n.IsLeader() {
+		n.toSelf = append(n.toSelf, Message{Report: &r})
 		return
 	}
-	for _, name := range n.s.Voters {
-		if name != n.s.Self && (n.leader == "" || n.leader == name) {
-			n.out = append(n.out, Out{name, Word{Report: &r}})
+	for _, name := range n.settings.Voters {
+		if name != n.settings.Self && (n.leader == "" || n.leader == name) {
+			n.outgoing = append(n.outgoing, Outgoing{name, Message{Report: &r}})
 		}
 	}
 }
 
 // tell sends a word, also to itself.
-func (n *Node) tell(now monotime.Micros, to string, w Word) {
-	if to == n.s.Self {
-		n.own = append(n.own, w)
+func (n *Node) send(now monotime.Micros, to string, w Message) {
+	if to == n.settings.Self {
+		n.toSelf = append(n.toSelf, w)
 		return
 	}
-	n.out = append(n.out, Out{to, w})
+	n.outgoing = append(n.outgoing, Outgoing{to, w})
 }
 
 // Hear takes another's word in.
-func (n *Node) Hear(now monotime.Micros, from string, w Word) {
-	defer n.guard()
-	n.take(now, from, w)
-	n.settle(now)
+func (n *Node) Receive(now monotime.Micros, from string, w Message) {
+	defer n.recoverRaftPanic()
+	n.handle(now, from, w)
+	n.process(now)
 }
 
-func (n *Node) take(now monotime.Micros, from string, w Word) {
+func (n *Node) handle(now monotime.Micros, from string, w Message) {
 	switch {
 	case w.Raft != nil:
-		n.step(from, w.Raft)
-	case w.Blank:
+		n.stepRaft(from, w.Raft)
+	case w.NoLog:
 		switch {
-		case n.blank:
-			n.blanks[from] = true
-			if len(n.blanks) == len(n.s.Voters)-1 {
-				n.found()
+		case n.noLog:
+			n.votersWithoutLog[from] = true
+			if len(n.votersWithoutLog) == len(n.settings.Voters)-1 {
+				n.bootstrap()
 			}
-		case n.founded && !n.met[from]:
+		case n.bootstrapped && !n.seenVoters[from]:
 			// It has not heard that this one was blank, too. Of one that has taken part since, some voter knows.
-			n.tell(now, from, Word{Blank: true})
+			n.send(now, from, Message{NoLog: true})
 		}
 	case w.Report != nil:
-		if !n.Leads() {
-			if l := n.knows(); l != "" && l != n.s.Self {
-				n.tell(now, from, Word{Leader: l})
+		if !n.IsLeader() {
+			if l := n.knownLeader(); l != "" && l != n.settings.Self {
+				n.send(now, from, Message{Leader: l})
 			}
 			return
 		}
-		if n.watch != nil && n.watch.RecordReport(now, from, *w.Report) {
-			n.waiting = append(n.waiting, question{from: from, report: *w.Report})
+		if n.coordinator != nil && n.coordinator.RecordReport(now, from, *w.Report) {
+			n.queuedReads = append(n.queuedReads, readRequest{from: from, report: *w.Report})
 		}
-	case w.Told != nil:
-		n.duty.Apply(now, *w.Told)
-		n.leader, n.asked = from, 0
+	case w.Grant != nil:
+		n.follower.Apply(now, *w.Grant)
+		n.leader, n.unansweredReports = from, 0
 	case w.Leader != "":
 		if n.leader != w.Leader {
-			n.leader, n.askAt = w.Leader, now
+			n.leader, n.reportAt = w.Leader, now
 		}
-	case w.Command != nil:
-		n.command(now, from, *w.Command)
-	case w.Reply != nil:
-		n.replies[w.Reply.Number] = *w.Reply
+	case w.OperatorRequest != nil:
+		n.handleOperatorRequest(now, from, *w.OperatorRequest)
+	case w.OperatorReply != nil:
+		n.replies[w.OperatorReply.Number] = *w.OperatorReply
 	}
 }
 
 // knows returns who leads, as far as this voter knows.
-func (n *Node) knows() string {
-	if n.raw == nil {
+func (n *Node) knownLeader() string {
+	if n.rawNode == nil {
 		return ""
 	}
-	if l := n.raw.BasicStatus().Lead; l > 0 && int(l) <= len(n.s.Voters) {
-		return n.s.Voters[l-1]
+	if l := n.rawNode.BasicStatus().Lead; l > 0 && int(l) <= len(n.settings.Voters) {
+		return n.settings.Voters[l-1]
 	}
 	return ""
 }
 
 // step hands a message to raft. A voter that has lost its log takes no part: what it voted for and what it said to have kept is not known.
-func (n *Node) step(from string, text []byte) {
+func (n *Node) stepRaft(from string, text []byte) {
 	var m raftpb.Message
-	if proto.Unmarshal(text, &m) != nil || int(m.GetFrom()) != slices.Index(n.s.Voters, from)+1 || m.GetFrom() == 0 || m.GetTo() != n.id || n.raw == nil {
+	if proto.Unmarshal(text, &m) != nil || int(m.GetFrom()) != slices.Index(n.settings.Voters, from)+1 || m.GetFrom() == 0 || m.GetTo() != n.raftID || n.rawNode == nil {
 		return
 	}
-	n.met[from] = true
-	n.raw.Step(&m) // what it makes nothing of is a message of before
+	n.seenVoters[from] = true
+	n.rawNode.Step(&m) // what it makes nothing of is a message of before
 }
 
 // Blank says whether this voter has no log, while others do: its disk was lost, and it has no vote.
-func (n *Node) Blank() bool { return n.blank }
+func (n *Node) LogMissing() bool { return n.noLog }
 
 // ---- The log ---------------------------------------------------------------
 
 // ready carries out what raft asks for: what is new is kept before anybody hears of it.
-func (n *Node) ready(now monotime.Micros) {
-	for n.raw != nil && n.raw.HasReady() {
-		rd := n.raw.Ready()
-		if err := n.disk.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
-			n.fail(err)
+func (n *Node) handleReady(now monotime.Micros) {
+	for n.rawNode != nil && n.rawNode.HasReady() {
+		rd := n.rawNode.Ready()
+		if err := n.store.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
+			n.stopVoting(err)
 			return
 		}
 		if rd.Snapshot.GetMetadata().GetIndex() > 0 {
-			n.storage.ApplySnapshot(rd.Snapshot)
-			if err := n.restore(rd.Snapshot); err != nil {
-				n.fail(err)
+			n.raftStorage.ApplySnapshot(rd.Snapshot)
+			if err := n.restoreSnapshot(rd.Snapshot); err != nil {
+				n.stopVoting(err)
 				return
 			}
 		}
 		if rd.HardState != nil {
-			n.storage.SetHardState(rd.HardState)
+			n.raftStorage.SetHardState(rd.HardState)
 		}
-		n.storage.Append(rd.Entries)
+		n.raftStorage.Append(rd.Entries)
 		for _, m := range rd.Messages {
 			text, err := proto.Marshal(m)
-			if err != nil || m.GetTo() == 0 || int(m.GetTo()) > len(n.s.Voters) {
+			if err != nil || m.GetTo() == 0 || int(m.GetTo()) > len(n.settings.Voters) {
 				continue
 			}
-			n.out = append(n.out, Out{n.s.Voters[m.GetTo()-1], Word{Raft: text}})
+			n.outgoing = append(n.outgoing, Outgoing{n.settings.Voters[m.GetTo()-1], Message{Raft: text}})
 			if m.GetType() == raftpb.MsgSnap {
-				n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost is sent again
+				n.rawNode.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost is sent again
 			}
 		}
 		for _, e := range rd.CommittedEntries {
-			n.apply(now, e)
+			n.applyEntry(now, e)
 		}
 		for _, s := range rd.ReadStates {
 			if len(s.RequestCtx) == 8 {
-				n.read(now, binary.BigEndian.Uint64(s.RequestCtx), s.Index)
+				n.answerReads(now, binary.BigEndian.Uint64(s.RequestCtx), s.Index)
 			}
 		}
-		n.raw.Advance(rd)
-		n.compact()
+		n.rawNode.Advance(rd)
+		n.takeSnapshot()
 	}
 }
 
-func (n *Node) apply(now monotime.Micros, e *raftpb.Entry) {
-	if e.GetIndex() <= n.applied {
+func (n *Node) applyEntry(now monotime.Micros, e *raftpb.Entry) {
+	if e.GetIndex() <= n.appliedIndex {
 		return
 	}
-	n.applied = e.GetIndex()
+	n.appliedIndex = e.GetIndex()
 	if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 {
 		return
 	}
-	var x entry
+	var x logEntry
 	if json.Unmarshal(e.GetData(), &x) != nil {
 		return // all pass it over alike
 	}
-	answer, err := n.state.Apply(x.Order)
-	if o, ok := n.origins[x.ID]; ok {
-		delete(n.origins, x.ID)
-		r := Reply{Number: o.number, Answer: answer}
+	answer, err := n.state.Apply(x.Command)
+	if o, ok := n.proposers[x.ProposalID]; ok {
+		delete(n.proposers, x.ProposalID)
+		r := OperatorReply{Number: o.number, Answer: answer}
 		if err != nil {
 			r.Error = err.Error()
 		}
-		n.tell(now, o.from, Word{Reply: &r})
+		n.send(now, o.from, Message{OperatorReply: &r})
 	}
 }
 
-func (n *Node) restore(s *raftpb.Snapshot) error {
-	n.applied, n.snapped = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
+func (n *Node) restoreSnapshot(s *raftpb.Snapshot) error {
+	n.appliedIndex, n.snapshotIndex = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
 	if len(s.GetData()) == 0 {
 		return nil
 	}
-	fresh, err := maintenance.NewState(n.s.Work)
+	fresh, err := maintenance.NewState(n.settings.Maintenance)
 	if err != nil {
 		return err
 	}
 	if err := json.Unmarshal(s.GetData(), fresh); err != nil {
 		return fmt.Errorf("the order's snapshot: %w", err)
 	}
-	fresh.UseSettings(n.s.Work)
+	fresh.UseSettings(n.settings.Maintenance)
 	n.state = fresh
 	return nil
 }
 
 // compact makes a snapshot once the log is long.
-func (n *Node) compact() {
-	if n.applied-n.snapped < compactEvery {
+func (n *Node) takeSnapshot() {
+	if n.appliedIndex-n.snapshotIndex < snapshotInterval {
 		return
 	}
 	text, err := json.Marshal(n.state)
@@ -524,189 +526,191 @@
 		return
 	}
 	voters := &raftpb.ConfState{}
-	for i := range n.s.Voters {
+	for i := range n.settings.Voters {
 		voters.Voters = append(voters.Voters, uint64(i+1))
 	}
-	s, err := n.storage.CreateSnapshot(n.applied, voters, text)
+	s, err := n.raftStorage.CreateSnapshot(n.appliedIndex, voters, text)
 	if err != nil {
 		return
 	}
-	if err := n.disk.Save(nil, nil, s); err != nil {
-		n.fail(err)
+	if err := n.store.Save(nil, nil, s); err != nil {
+		n.stopVoting(err)
 		return
 	}
-	n.snapped = n.applied
-	if n.applied > compactEvery/2 {
-		n.storage.Compact(n.applied - compactEvery/2) // followers that are a little behind need no snapshot
+	n.snapshotIndex = n.appliedIndex
+	if n.appliedIndex > snapshotInterval/2 {
+		n.raftStorage.Compact(n.appliedIndex - snapshotInterval/2) // followers that are a little behind need no snapshot
 	}
 }
 
 // ---- Leading ---------------------------------------------------------------
 
 // clock is the state's, by who leads.
-func (n *Node) clock(now monotime.Micros) monotime.Micros {
-	return max(n.state.Now, n.base+now-n.baseAt)
+func (n *Node) stateClock(now monotime.Micros) monotime.Micros {
+	return max(n.state.Now, n.clockBase+now-n.clockBaseAt)
 }
 
-func (n *Node) propose(order maintenance.Command, now monotime.Micros, o *origin) {
-	order.Time = n.clock(now)
-	n.numbers++
-	text, err := json.Marshal(entry{n.numbers, order})
+func (n *Node) propose(order maintenance.Command, now monotime.Micros, o *proposer) {
+	order.Time = n.stateClock(now)
+	n.lastNumber++
+	text, err := json.Marshal(logEntry{n.lastNumber, order})
 	if err != nil {
 		panic(err) // of our own words
 	}
-	if n.raw.Propose(text) != nil {
+	if n.rawNode.Propose(text) != nil {
 		return // it leads no more
 	}
 	if o != nil {
-		n.origins[n.numbers] = *o
+		n.proposers[n.lastNumber] = *o
 	}
 }
 
 // once proposes what may be under way already, once in a while.
-func (n *Node) once(key string, now monotime.Micros, order maintenance.Command) {
-	if now < n.pending[key] {
+func (n *Node) proposeOnce(key string, now monotime.Micros, order maintenance.Command) {
+	if now < n.retryAt[key] {
 		return
 	}
-	n.pending[key] = now + pendingFor
+	n.retryAt[key] = now + proposalRetry
 	n.propose(order, now, nil)
 }
 
 // lead does what falls to who leads.
-func (n *Node) lead(now monotime.Micros) {
-	if !n.Leads() {
-		n.watch, n.reading, n.waiting = nil, nil, nil
-		clear(n.origins)
+func (n *Node) runLeader(now monotime.Micros) {
+	if !n.IsLeader() {
+		n.coordinator, n.pendingReads, n.queuedReads = nil, nil, nil
+		clear(n.proposers)
 		return
 	}
-	status := n.raw.BasicStatus()
-	if n.watch == nil || n.term != status.GetTerm() {
-		if at, err := n.storage.Term(n.applied); err != nil || at != status.GetTerm() {
+	status := n.rawNode.BasicStatus()
+	if n.coordinator == nil || n.coordinatorTerm != status.GetTerm() {
+		if at, err := n.raftStorage.Term(n.appliedIndex); err != nil || at != status.GetTerm() {
 			return // what was settled before it leads is not all applied
 		}
-		n.watch, n.term, n.base, n.baseAt = maintenance.NewCoordinator(now, n.s.Work), status.GetTerm(), n.state.Now, now
-		n.reading, n.waiting = nil, nil
-		clear(n.pending)
+		n.coordinator, n.coordinatorTerm, n.clockBase, n.clockBaseAt = maintenance.NewCoordinator(now, n.settings.Maintenance), status.GetTerm(), n.state.Now, now
+		n.pendingReads, n.queuedReads = nil, nil
+		clear(n.retryAt)
 	}
 	var known, free []string
-	known, free, n.why = n.watch.Progress(now, n.state)
+	known, free, n.waitReasons = n.coordinator.Progress(now, n.state)
 	for _, name := range known {
-		n.once("known/"+name, now, maintenance.Command{Acknowledged: []string{name}})
+		n.proposeOnce("known/"+name, now, maintenance.Command{Acknowledged: []string{name}})
 	}
 	for _, name := range free {
-		n.once("free/"+name, now, maintenance.Command{Drained: []string{name}})
+		n.proposeOnce("free/"+name, now, maintenance.Command{Drained: []string{name}})
 	}
-	if n.facts != nil && now >= n.factsAt {
-		n.factsAt = now + factsEvery
-		if f := n.facts(); fmt.Sprint(f) != fmt.Sprint(n.state.Fleet) {
-			n.once("facts", now, maintenance.Command{FleetStatus: &f})
+	if n.fleetStatus != nil && now >= n.fleetStatusAt {
+		n.fleetStatusAt = now + fleetStatusInterval
+		if f := n.fleetStatus(); fmt.Sprint(f) != fmt.Sprint(n.state.Fleet) {
+			n.proposeOnce("facts", now, maintenance.Command{FleetStatus: &f})
 		}
 	}
-	if now >= n.beatAt && len(n.state.Machines) > 0 {
-		n.beatAt = now + beatEvery
+	if now >= n.clockEntryAt && len(n.state.Machines) > 0 {
+		n.clockEntryAt = now + clockEntryInterval
 		n.propose(maintenance.Command{}, now, nil) // time goes on
 	}
-	if len(n.reading) == 0 && len(n.waiting) > 0 {
-		n.reads++
-		n.reading, n.waiting = n.waiting, nil
-		n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, n.reads))
-		n.pending["read"] = now + n.s.Work.LeaseDuration/8
-	} else if len(n.reading) > 0 && now >= n.pending["read"] {
-		n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, n.reads)) // words get lost
-		n.pending["read"] = now + n.s.Work.LeaseDuration/8
+	if len(n.pendingReads) == 0 && len(n.queuedReads) > 0 {
+		n.readSequence++
+		n.pendingReads, n.queuedReads = n.queuedReads, nil
+		n.rawNode.ReadIndex(binary.BigEndian.AppendUint64(nil, n.readSequence))
+		n.retryAt["read"] = now + n.settings.Maintenance.LeaseDuration/8
+	} else if len(n.pendingReads) > 0 && now >= n.retryAt["read"] {
+		n.rawNode.ReadIndex(binary.BigEndian.AppendUint64(nil, n.readSequence)) // words get lost
+		n.retryAt["read"] = now + n.settings.Maintenance.LeaseDuration/8
 	}
 }
 
 // read answers the questions of a round: this instance has led since they came.
-func (n *Node) read(now monotime.Micros, number, index uint64) {
-	if number != n.reads || n.watch == nil || n.applied < index {
+func (n *Node) answerReads(now monotime.Micros, number, index uint64) {
+	if number != n.readSequence || n.coordinator == nil || n.appliedIndex < index {
 		return
 	}
-	questions := n.reading
-	n.reading = nil
+	questions := n.pendingReads
+	n.pendingReads = nil
 	order := n.state.Plan()
 	for _, q := range questions {
 		if n.state.Instances[q.from] != q.report.Incarnation {
 			// It is told nothing before all who may lead know that it is there.
-			n.once("join/"+q.from, now, maintenance.Command{Join: &maintenance.Instance{Name: q.from, Incarnation: q.report.Incarnation}})
+			n.proposeOnce("join/"+q.from, now, maintenance.Command{Join: &maintenance.Instance{Name: q.from, Incarnation: q.report.Incarnation}})
 			continue
 		}
-		t := n.watch.Grant(now, q.from, q.report, order)
-		n.tell(now, q.from, Word{Told: &t})
+		t := n.coordinator.Grant(now, q.from, q.report, order)
+		n.send(now, q.from, Message{Grant: &t})
 	}
 }
 
 // ---- Operators -------------------------------------------------------------
 
 // silentAfter is after how many leases without a word an instance is told of to operators.
-const silentAfter = 4
+const silentLeases = 4
 
 // command takes an operator's word in, at who leads; another voter says who does.
-func (n *Node) command(now monotime.Micros, from string, c Command) {
+func (n *Node) handleOperatorRequest(now monotime.Micros, from string, c OperatorRequest) {
 	switch {
-	case !n.Leads() || n.watch == nil:
-		if l := n.knows(); l != "" && l != n.s.Self {
-			n.tell(now, from, Word{Leader: l})
+	case !n.IsLeader() || n.coordinator == nil:
+		if l := n.knownLeader(); l != "" && l != n.settings.Self {
+			n.send(now, from, Message{Leader: l})
 		}
-	case c.Look:
+	case c.View:
 		v := n.view(now)
-		n.tell(now, from, Word{Reply: &Reply{Number: c.Number, View: v}})
+		n.send(now, from, Message{OperatorReply: &OperatorReply{Number: c.Number, View: v}})
 	default:
-		n.propose(c.Order, now, &origin{from, c.Number})
+		n.propose(c.Command, now, &proposer{from, c.Number})
 	}
 }
 
 func (n *Node) view(now monotime.Micros) *View {
 	x := n.state
-	v := &View{Leader: n.s.Self, Now: n.clock(now), Held: x.OnHold, Events: slices.Clone(x.Events), Silent: n.watch.SilentInstances(now, x, silentAfter*n.s.Work.LeaseDuration)}
+	v := &View{Leader: n.settings.Self, Now: n.stateClock(now), OnHold: x.OnHold, Events: slices.Clone(x.Events), Silent: n.coordinator.SilentInstances(now, x, silentLeases*n.settings.Maintenance.LeaseDuration)}
 	for _, j := range x.Requests {
-		v.Jobs = append(v.Jobs, *j)
+		v.Requests = append(v.Requests, *j)
 	}
 	for _, i := range x.Machines {
 		i := *i
-		if w := n.why[i.Name]; w != "" {
+		if w := n.waitReasons[i.Name]; w != "" {
 			i.WaitReason = w
 		}
-		v.Items = append(v.Items, i)
+		v.Machines = append(v.Machines, i)
 	}
 	for name, life := range x.Instances {
 		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Incarnation: life})
 	}
-	slices.SortFunc(v.Jobs, func(a, b maintenance.Request) int { return int(a.RequestedAt - b.RequestedAt) })
-	slices.SortFunc(v.Items, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
+	slices.SortFunc(v.Requests, func(a, b maintenance.Request) int { return int(a.RequestedAt - b.RequestedAt) })
+	slices.SortFunc(v.Machines, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	slices.SortFunc(v.Instances, func(a, b maintenance.Instance) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	return v
 }
 
 // Say says something for an operator, and returns the number by which Answer has the answer. Nobody may lead just then: whoever asks says it
 // again, and a job that is asked for twice is asked for once.
-func (n *Node) Say(now monotime.Micros, order maintenance.Command) (number uint64) {
-	return n.put(now, Command{Order: order})
+func (n *Node) Submit(now monotime.Micros, order maintenance.Command) (number uint64) {
+	return n.submit(now, OperatorRequest{Command: order})
 }
 
 // Look asks how all stands; the answer is got as that of Say.
-func (n *Node) Look(now monotime.Micros) (number uint64) { return n.put(now, Command{Look: true}) }
-
-func (n *Node) put(now monotime.Micros, c Command) (number uint64) {
-	defer n.guard()
-	n.numbers++
-	c.Number = n.numbers
-	number = n.numbers
-	w := Word{Command: &c}
+func (n *Node) RequestView(now monotime.Micros) (number uint64) {
+	return n.submit(now, OperatorRequest{View: true})
+}
+
+func (n *Node) submit(now monotime.Micros, c OperatorRequest) (number uint64) {
+	defer n.recoverRaftPanic()
+	n.lastNumber++
+	c.Number = n.lastNumber
+	number = n.lastNumber
+	w := Message{OperatorRequest: &c}
 	switch {
-	case n.Leads():
-		n.own = append(n.own, w)
-		n.settle(now)
+	case n.IsLeader():
+		n.toSelf = append(n.toSelf, w)
+		n.process(now)
 	case n.leader != "":
-		n.out = append(n.out, Out{n.leader, w})
+		n.outgoing = append(n.outgoing, Outgoing{n.leader, w})
 	default:
-		n.say(w)
+		n.broadcast(w)
 	}
 	return number
 }
 
 // Answer returns the answer to what was said by a number, once.
-func (n *Node) Answer(number uint64) (r Reply, ok bool) {
+func (n *Node) TakeReply(number uint64) (r OperatorReply, ok bool) {
 	r, ok = n.replies[number]
 	delete(n.replies, number)
 	return r, ok
--- a/internal/consensus/settle_test.go
+++ b/internal/consensus/settle_test.go
@@ -24,14 +24,14 @@
 
 var errBroken = errors.New("the disk is full")
 
-func (m *memory) Load() (Kept, bool, error) {
+func (m *memory) Load() (StoredLog, bool, error) {
 	if m.broken {
-		return Kept{}, false, errBroken
+		return StoredLog{}, false, errBroken
 	}
 	if m.snapshot == nil {
-		return Kept{}, true, nil
+		return StoredLog{}, true, nil
 	}
-	return Kept{m.hard, m.snapshot, slices.Clone(m.entries)}, false, nil
+	return StoredLog{m.hard, m.snapshot, slices.Clone(m.entries)}, false, nil
 }
 
 func (m *memory) Save(hard *raftpb.HardState, entries []*raftpb.Entry, s *raftpb.Snapshot) error {
@@ -72,7 +72,7 @@
 type message struct {
 	at       float64
 	from, to *process
-	w        Word
+	w        Message
 }
 
 type world struct {
@@ -123,16 +123,16 @@
 	if w.plant == "leases outlive their time" && p.name != "i1" {
 		p.rate *= 0.3
 	}
-	var disk Disk
+	var disk LogStore
 	if p.disk != nil {
 		disk = p.disk
 	}
-	n, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Work: s, Turn: w.turn}, w.lives, disk)
+	n, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Maintenance: s, TickInterval: w.turn}, w.lives, disk)
 	if err != nil && n == nil {
 		w.t.Fatal(err)
 	}
 	p.node = n
-	n.Sees(func() maintenance.FleetStatus {
+	n.SetSources(func() maintenance.FleetStatus {
 		return maintenance.FleetStatus{Machines: w.machines, Usage: 3, PeakUsage: 3}
 	}, func(m string) int {
 		if p.open[m] > w.now {
@@ -154,7 +154,7 @@
 }
 
 func (w *world) flush(p *process) {
-	for _, o := range p.node.Out() {
+	for _, o := range p.node.TakeOutgoing() {
 		to := w.find(o.To)
 		if to == nil || w.rng.Float64() < w.loss {
 			continue
@@ -163,7 +163,7 @@
 		if w.rng.Float64() < w.loss {
 			d += 3e6 * w.rng.Float64()
 		}
-		w.words = append(w.words, message{w.now + d, p, to, o.Word})
+		w.words = append(w.words, message{w.now + d, p, to, o.Message})
 	}
 }
 
@@ -177,7 +177,7 @@
 		case m.at > w.now || m.to.asleep > w.now:
 			w.words = append(w.words, m)
 		case m.to.up && !w.cut[[2]string{m.from.name, m.to.name}]:
-			m.to.node.Hear(m.to.clock(w.now), m.from.name, m.w)
+			m.to.node.Receive(m.to.clock(w.now), m.from.name, m.w)
 			w.flush(m.to)
 		}
 	}
@@ -185,12 +185,12 @@
 		if !p.up || p.asleep > w.now {
 			continue
 		}
-		if now := p.clock(w.now); now >= p.node.Next() {
+		if now := p.clock(w.now); now >= p.node.NextTick() {
 			p.node.Tick(now)
 			w.flush(p)
 		}
 		w.send(p)
-		if p.node.raw != nil && (w.best == nil || !w.best.up || p.node.applied >= w.best.node.applied) {
+		if p.node.rawNode != nil && (w.best == nil || !w.best.up || p.node.appliedIndex >= w.best.node.appliedIndex) {
 			w.best = p
 		}
 	}
@@ -199,7 +199,7 @@
 
 // send has a process send to a machine where its duty lets it, and end what has to end.
 func (w *world) send(p *process) {
-	d := p.node.Duty()
+	d := p.node.Follower()
 	now := p.clock(w.now)
 	out := d.ExcludedMachines(now)
 	if d.MustEndInFlight(now) {
@@ -217,7 +217,7 @@
 	if w.plant == "only what is out" {
 		out = d.ExcludedMachines(0)
 		out = slices.DeleteFunc(out, func(string) bool { return true })
-		if p.node.Duty() != nil {
+		if p.node.Follower() != nil {
 			out = stopOnly(d, now)
 		}
 	}
@@ -282,20 +282,20 @@
 }
 
 // say has an operator say something at an instance until it is answered.
-func (w *world) say(at string, order maintenance.Command) Reply {
+func (w *world) say(at string, order maintenance.Command) OperatorReply {
 	p := w.find(at)
 	for range 40 {
-		number := p.node.Say(p.clock(w.now), order)
+		number := p.node.Submit(p.clock(w.now), order)
 		w.flush(p)
 		for range 100 {
 			w.run(5000)
-			if r, ok := p.node.Answer(number); ok {
+			if r, ok := p.node.TakeReply(number); ok {
 				return r
 			}
 		}
 	}
 	w.t.Fatal("an operator is not answered")
-	return Reply{}
+	return OperatorReply{}
 }
 
 // finish works through all that was asked for, and says what is left after so long.
@@ -319,7 +319,7 @@
 	return len(w.best.node.State().Machines)
 }
 
-func (w *world) ask(id string, machines ...string) Reply {
+func (w *world) ask(id string, machines ...string) OperatorReply {
 	return w.say("i3", maintenance.Command{Request: &maintenance.Request{ID: id, Machines: machines, Duration: 60 * second, Reason: "kernel", Requester: "ana"}})
 }
 
@@ -391,7 +391,7 @@
 			for _, i := range w.best.node.State().Machines {
 				if i.Phase == maintenance.UnderMaintenance && w.rng.IntN(2) == 0 {
 					n := w.best.node
-					n.Say(w.best.clock(w.now), maintenance.Command{Complete: &maintenance.Completion{Request: i.Requests[0], Machine: i.Name}})
+					n.Submit(w.best.clock(w.now), maintenance.Command{Complete: &maintenance.Completion{Request: i.Requests[0], Machine: i.Name}})
 					w.flush(w.best)
 				}
 			}
@@ -409,7 +409,7 @@
 		w.loss = 0
 		w.run(12e6)
 		if left := w.finish(120e6); left != 0 {
-			t.Fatalf("seed %d: %d are left: %+v, %v", seed, left, w.best.node.State().Machines, w.best.node.why)
+			t.Fatalf("seed %d: %d are left: %+v, %v", seed, left, w.best.node.State().Machines, w.best.node.waitReasons)
 		}
 	}
 }
@@ -425,8 +425,8 @@
 	w.run(3e6)
 	w.start(lost)
 	w.run(4e6)
-	if !lost.node.Blank() || !lost.node.Duty().HasPlan() {
-		t.Errorf("one that has lost its log: blank %v, obeys %v", lost.node.Blank(), lost.node.Duty().HasPlan())
+	if !lost.node.LogMissing() || !lost.node.Follower().HasPlan() {
+		t.Errorf("one that has lost its log: blank %v, obeys %v", lost.node.LogMissing(), lost.node.Follower().HasPlan())
 	}
 	if w.best.node.State().Requests["night"] == nil {
 		t.Fatal("what was settled is lost")
@@ -446,7 +446,7 @@
 		w.start(p)
 	}
 	w.run(8e6)
-	if w.all[1].node.Failed() == nil || !w.all[1].up {
+	if w.all[1].node.VoterError() == nil || !w.all[1].up {
 		t.Error("a voter whose disk cannot be read is not told")
 	}
 	if x := w.all[2].node.State(); x.Requests["other"] == nil {
@@ -458,7 +458,7 @@
 	back.disk.entries = back.disk.entries[:len(back.disk.entries)/2]
 	w.start(back)
 	w.run(2e6)
-	if back.node.Failed() == nil || !back.up {
+	if back.node.VoterError() == nil || !back.up {
 		t.Error("an old log is gone on from")
 	}
 }
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -21,7 +21,7 @@
 type settling struct {
 	d      *generation
 	node   *consensus.Node
-	file   *consensus.File // nil for who is no voter
+	file   *consensus.BoltStore // nil for who is no voter
 	events chan func()
 	stop   context.CancelFunc
 	ended  chan struct{}
@@ -32,7 +32,7 @@
 	peakAt  clock.Micros64
 	open    map[string]int
 	obeyed  engine.Orders
-	waiting map[uint64]chan consensus.Reply
+	waiting map[uint64]chan consensus.OperatorReply
 	warned  bool
 }
 
@@ -48,11 +48,11 @@
 	if s == nil || d.settling != nil {
 		return nil
 	}
-	x := &settling{d: d, events: make(chan func(), 1024), ended: make(chan struct{}), open: map[string]int{}, waiting: map[uint64]chan consensus.Reply{}}
-	var disk consensus.Disk
+	x := &settling{d: d, events: make(chan func(), 1024), ended: make(chan struct{}), open: map[string]int{}, waiting: map[uint64]chan consensus.OperatorReply{}}
+	var disk consensus.LogStore
 	if path := d.config.Work.State; path != "" {
 		var err error
-		if x.file, err = consensus.OpenFile(path); err != nil {
+		if x.file, err = consensus.OpenBoltStore(path); err != nil {
 			d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
 		} else {
 			disk = x.file
@@ -66,11 +66,11 @@
 		d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
 	}
 	x.node = node
-	node.Sees(x.look, func(name string) int { return x.open[name] })
+	node.SetSources(x.look, func(name string) int { return x.open[name] })
 	x.obeyed = engine.Orders{Wait: true}
 	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
 		x.obeyed = *o
-		node.Duty().Inherit(maintenance.Plan{Excluded: o.Stop, Announced: o.Ahead}, o.Until)
+		node.Follower().Inherit(maintenance.Plan{Excluded: o.Stop, Announced: o.Ahead}, o.Until)
 	}
 	d.core.Order(x.obeyed)
 	var ctx context.Context
@@ -98,9 +98,9 @@
 }
 
 // hear takes a word in. It never waits: what is too much is lost, as on any way.
-func (x *settling) hear(from string, w consensus.Word) {
+func (x *settling) hear(from string, w consensus.Message) {
 	select {
-	case x.events <- func() { x.node.Hear(x.d.clk.Now(), from, w) }:
+	case x.events <- func() { x.node.Receive(x.d.clk.Now(), from, w) }:
 	default:
 	}
 }
@@ -114,7 +114,7 @@
 		case event := <-x.events:
 			event()
 		case <-turn.C:
-			if now := x.d.clk.Now(); now >= x.node.Next() {
+			if now := x.d.clk.Now(); now >= x.node.NextTick() {
 				x.stand(now)
 				x.node.Tick(now)
 			}
@@ -127,7 +127,7 @@
 
 // stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
 func (x *settling) stand(now clock.Micros64) {
-	order, _, _ := x.node.Duty().CurrentPlan()
+	order, _, _ := x.node.Follower().CurrentPlan()
 	names := append(append([]string(nil), order.Excluded...), order.Announced...)
 	if len(names) == 0 && now < x.factsAt+lookEvery {
 		return
@@ -147,13 +147,13 @@
 // after carries words, has the core obey, and hands answers to who waits for them.
 func (x *settling) after() {
 	p := x.d.peers.Load()
-	for _, o := range x.node.Out() {
+	for _, o := range x.node.TakeOutgoing() {
 		if p != nil {
-			p.TellSettle(o.To, o.Word)
+			p.TellSettle(o.To, o.Message)
 		}
 	}
-	order, until, end := x.node.Duty().CurrentPlan()
-	o := engine.Orders{Wait: !x.node.Duty().HasPlan(), Stop: order.Excluded, Ahead: order.Announced, Until: until, End: end}
+	order, until, end := x.node.Follower().CurrentPlan()
+	o := engine.Orders{Wait: !x.node.Follower().HasPlan(), Stop: order.Excluded, Ahead: order.Announced, Until: until, End: end}
 	if fmt.Sprint(o) != fmt.Sprint(x.obeyed) {
 		if fmt.Sprint(o.Stop) != fmt.Sprint(x.obeyed.Stop) {
 			x.d.log.Info("machines out for work", "out", o.Stop, "next in line", o.Ahead)
@@ -162,16 +162,16 @@
 		x.d.core.Order(o)
 	}
 	for number, c := range x.waiting {
-		if r, ok := x.node.Answer(number); ok {
+		if r, ok := x.node.TakeReply(number); ok {
 			c <- r
 			delete(x.waiting, number)
 		}
 	}
-	if x.node.Blank() && x.node.Duty().HasPlan() && !x.warned {
+	if x.node.LogMissing() && x.node.Follower().HasPlan() && !x.warned {
 		x.warned = true
 		x.d.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
 	}
-	if err := x.node.Failed(); err != nil && !x.warned {
+	if err := x.node.VoterError(); err != nil && !x.warned {
 		x.warned = true
 		x.d.log.Error("this instance has no vote in the order of machines out any more; it obeys", "error", err)
 	}
@@ -181,12 +181,12 @@
 var errLeaderless = errors.New("nobody leads in settling the order just now; say it again")
 
 // say says something for an operator, and waits for its answer.
-func (x *settling) say(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.Reply, error) {
-	answer := make(chan consensus.Reply, 1)
+func (x *settling) say(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.OperatorReply, error) {
+	answer := make(chan consensus.OperatorReply, 1)
 	select {
 	case x.events <- func() { x.waiting[put(x.d.clk.Now())] = answer }:
 	case <-ctx.Done():
-		return consensus.Reply{}, errLeaderless
+		return consensus.OperatorReply{}, errLeaderless
 	}
 	select {
 	case r := <-answer:
@@ -197,11 +197,13 @@
 	case <-x.ended:
 	case <-ctx.Done():
 		select {
-		case x.events <- func() { maps.DeleteFunc(x.waiting, func(_ uint64, c chan consensus.Reply) bool { return c == answer }) }:
+		case x.events <- func() {
+			maps.DeleteFunc(x.waiting, func(_ uint64, c chan consensus.OperatorReply) bool { return c == answer })
+		}:
 		default:
 		}
 	}
-	return consensus.Reply{}, errLeaderless
+	return consensus.OperatorReply{}, errLeaderless
 }
 
 // work answers an operator's call: an order in JSON, or a look at how all stands without one.
@@ -211,7 +213,7 @@
 		return nil, errors.New("work.on is false here, or this process does not serve")
 	}
 	if len(body) == 0 {
-		r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Look(now) })
+		r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.RequestView(now) })
 		if err != nil {
 			return nil, err
 		}
@@ -222,6 +224,6 @@
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
 	order = maintenance.Command{Request: order.Request, CancelRequest: order.CancelRequest, Complete: order.Complete, Hold: order.Hold, Forget: order.Forget} // an operator says no more
-	r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Say(now, order) })
+	r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Submit(now, order) })
 	return []byte(r.Answer), err
 }
--- a/internal/experiment/processes/work.go
+++ b/internal/experiment/processes/work.go
@@ -111,7 +111,7 @@
 		l.asked = len(names)
 		l.done = len(names)
 		var free []int
-		for _, i := range v.Items {
+		for _, i := range v.Machines {
 			l.done--
 			n := slices.IndexFunc(r.plan.Nodes, func(p scenario.Node) bool { return p.Name == i.Name })
 			if i.Phase == maintenance.UnderMaintenance && n >= 0 && !l.working[n] {
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -57,7 +57,7 @@
 			Grant: grant, All: all},
 	}
 	envelopes := map[string]envelope{
-		"consensus": {From: "instance-1", To: "instance-2", Settle: &consensus.Word{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
+		"consensus": {From: "instance-1", To: "instance-2", Settle: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
 	}
 	for name, w := range words {
 		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Word: w}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,7 +33,7 @@
 	Log     *slog.Logger
 	Hear    func(from string, w coordination.Word) // is called with one word at a time; may wait
 	// Settle is the same for words by which instances settle in which order machines go out; nil is that this one takes no part.
-	Settle func(from string, w consensus.Word)
+	Settle func(from string, w consensus.Message)
 }
 
 // Member is an instance, as far as is known here.
@@ -65,13 +65,13 @@
 	To   string            `cbor:"2,keyasint"`
 	Word coordination.Word `cbor:"3,keyasint"`
 
-	Settle *consensus.Word `cbor:"4,keyasint,omitempty"`
+	Settle *consensus.Message `cbor:"4,keyasint,omitempty"`
 }
 
 type outgoing struct {
 	to     string
 	word   coordination.Word
-	settle *consensus.Word
+	settle *consensus.Message
 }
 
 const (
@@ -151,7 +151,7 @@
 func (p *Peers) Tell(to string, w coordination.Word) { p.put(outgoing{to: to, word: w}) }
 
 // TellSettle is as Tell, with a word by which instances settle an order.
-func (p *Peers) TellSettle(to string, w consensus.Word) { p.put(outgoing{to: to, settle: &w}) }
+func (p *Peers) TellSettle(to string, w consensus.Message) { p.put(outgoing{to: to, settle: &w}) }
 
 func (p *Peers) put(o outgoing) {
 	select {
