Tell an access record's own segments where its start's digits hold the separator

Cause: a segment's name has the start in milliseconds and the process id in base 36 with the letter p between them, which is a digit of base 36 too; Writer.ours cut at the first p. A process that started at such a moment (15% of them, all starts in about 15 minutes at a time) did not know its own segments: rotation passed over them, and half-written files stayed. Change: the separator is looked for behind the eight digits that such a start has until 2059. The stored name stays as it is.

--- a/internal/accesslog/writer.go
+++ b/internal/accesslog/writer.go
@@ -72,9 +72,25 @@
 	if !ok || !whole || !two || strings.Contains(number, "-") {
 		return 0, false
 	}
-	_, id, _ := strings.Cut(process, "p")
-	n, err := strconv.ParseInt(id, 36, 32)
-	return int(n), err == nil
+	return processID(process)
+}
+
+// startDigits is how many base-36 digits the Unix milliseconds of a process's start have, from 1972 to 2059.
+const startDigits = 8
+
+// processID returns the process id in a segment name's process part: the start in milliseconds, the letter p and the
+// process id, both numbers in base 36. The letter is a digit of base 36 too, so the separator is looked for behind the
+// digits of the start; a start of fewer digits ends at the first one.
+func processID(process string) (pid int, ok bool) {
+	separator := strings.IndexByte(process, 'p')
+	if len(process) > startDigits && process[startDigits] == 'p' {
+		separator = startDigits
+	}
+	if separator < 0 {
+		return 0, false
+	}
+	id, err := strconv.ParseInt(process[separator+1:], 36, 32)
+	return int(id), err == nil
 }
 
 // alive says whether a process is there: a taker begins to write while its giver still does.
