Rename the canary analysis's identifiers to terms of the field

Renamed by type over all packages; no logic is changed.

go build ./..., go vet and go test ./internal/decide/canary: ok.

--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -45,14 +45,14 @@
 		return
 	}
 	t.s.Requests++
-	t.s.Asked += c.Worth
+	t.s.OfferedWeight += c.Worth
 	switch {
 	case x.Left:
 		t.s.Failed++
 	case x.Answer.Verdict == engine.Served && took <= c.Aim:
-		t.s.Earned += c.Worth
+		t.s.ServedWeight += c.Worth
 	case x.Answer.Verdict == engine.Served:
-		t.s.Earned += c.Worth * c.LateWorth
+		t.s.ServedWeight += c.Worth * c.LateWorth
 	case x.Answer.Verdict == engine.Failed || x.Answer.Verdict == engine.FailedLate:
 		t.s.Failed++
 	}
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -38,10 +38,10 @@
 	unfollow  context.CancelFunc // ends that
 	following sync.WaitGroup
 
-	trial  *canary.Trial   // nil while none is under way
-	tried  []canary.Sample // in it
-	before []canary.Sample // what it is held against: the last of what was good
-	last   time.Time       // when the last sample ended
+	trial  *canary.Analysis // nil while none is under way
+	tried  []canary.Sample  // in it
+	before []canary.Sample  // what it is held against: the last of what was good
+	last   time.Time        // when the last sample ended
 }
 
 const (
@@ -451,10 +451,10 @@
 // try begins a trial of what runs now against what was good until then.
 func (p *process) try() {
 	c := &p.control
-	s := canary.Settings{Length: c.Trial.Micros(), Margin: c.Margin, Alpha: c.Alpha, Extend: trialRush}
-	s.Least = min(s.Length/4, 5_000_000)
+	s := canary.Settings{Duration: c.Trial.Micros(), HarmMargin: c.Margin, Alpha: c.Alpha, MaxExtensions: trialRush}
+	s.MinDuration = min(s.Duration/4, 5_000_000)
 	var err error
-	if p.trial, err = canary.New(s, p.before...); err != nil {
+	if p.trial, err = canary.NewAnalysis(s, p.before...); err != nil {
 		p.log.Error("no trial", "error", err) // config has checked what it needs
 		p.do(p.machine.HandleCanaryResult(now(), ""))
 		return
@@ -480,18 +480,18 @@
 		return
 	}
 	s := t.take()
-	s.Length = length.Microseconds()
+	s.Duration = length.Microseconds()
 	if p.trial == nil {
 		p.before = append(p.before, s)
 		p.before = p.before[max(0, len(p.before)-slotsMost):]
 		return
 	}
 	p.tried = append(p.tried, s)
-	switch verdict, figures := p.trial.Try(s); verdict {
-	case canary.Going:
-	case canary.Worse:
+	switch verdict, figures := p.trial.AddCanary(s); verdict {
+	case canary.Undecided:
+	case canary.Degraded:
 		p.trial = nil
-		p.do(p.machine.HandleCanaryResult(now(), fmt.Sprintf("worse by %s: %s", figures.By, figures.Text())))
+		p.do(p.machine.HandleCanaryResult(now(), fmt.Sprintf("worse by %s: %s", figures.Metric, figures.Text())))
 	default:
 		p.trial = nil
 		p.log.Info("trial ended", "verdict", verdict.String(), "figures", figures.Text())
--- a/internal/decide/canary/trial_test.go
+++ b/internal/decide/canary/trial_test.go
@@ -12,7 +12,7 @@
 
 const slot = 250_000
 
-var settings = Settings{Length: 30_000_000, Least: 2_000_000, Margin: 0.01, Alpha: 0.01}
+var settings = Settings{Duration: 30_000_000, MinDuration: 2_000_000, HarmMargin: 0.01, Alpha: 0.01}
 
 // site draws samples: so many requests a second, of which a part is in vain, by more in some slots than in others.
 type site struct {
@@ -26,7 +26,7 @@
 }
 
 func (x *site) sample() Sample {
-	s := Sample{Length: slot}
+	s := Sample{Duration: slot}
 	n := int(x.rate*float64(slot)/1e6 + x.rng.Float64())
 	if x.left--; x.left <= 0 { // spells of a second or so
 		x.left = 1 + x.rng.IntN(8)
@@ -35,9 +35,9 @@
 	for range n {
 		worth := []float64{1, 2, 3, 5}[x.rng.IntN(4)]
 		s.Requests++
-		s.Asked += worth
+		s.OfferedWeight += worth
 		if x.rng.Float64() >= x.bad*x.spell {
-			s.Earned += worth
+			s.ServedWeight += worth
 		} else if x.rng.Float64() < x.failures {
 			s.Failed++
 		}
@@ -46,17 +46,17 @@
 }
 
 // play tries until there is a verdict.
-func play(t *testing.T, s Settings, before, after *site) (Verdict, Figures) {
+func play(t *testing.T, s Settings, before, after *site) (Verdict, Statistics) {
 	t.Helper()
-	x, err := New(s)
+	x, err := NewAnalysis(s)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for range 240 {
-		x.Reference(before.sample())
+		x.AddBaseline(before.sample())
 	}
 	for range 10_000 {
-		if v, f := x.Try(after.sample()); v != Going {
+		if v, f := x.AddCanary(after.sample()); v != Undecided {
 			return v, f
 		}
 	}
@@ -95,9 +95,9 @@
 				before := &site{rng: rng, rate: tc.rate, bad: tc.bad, unsteady: tc.unsteady, failures: 0.5}
 				after := &site{rng: rng, rate: tc.rate, bad: tc.bad + tc.harm, unsteady: tc.unsteady, failures: 0.5}
 				v, f := play(t, settings, before, after)
-				if v == Worse {
+				if v == Degraded {
 					found++
-					times = append(times, float64(f.Time))
+					times = append(times, float64(f.Duration))
 				}
 			}
 			part := float64(found) / trials
@@ -122,50 +122,50 @@
 // waited for.
 func TestRush(t *testing.T) {
 	s := settings
-	s.Extend = 2
+	s.MaxExtensions = 2
 	rng := rand.New(rand.NewPCG(1, 1))
 	before := &site{rng: rng, rate: 100, bad: 0.001}
-	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3}); v != Unsure || f.Service[1] > 0.8 {
+	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3}); v != Inconclusive || f.Service[1] > 0.8 {
 		t.Errorf("%v, %+v", v, f)
 	}
-	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3, failures: 0.5}); v != Worse || f.By != "failures" {
+	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3, failures: 0.5}); v != Degraded || f.Metric != "failures" {
 		t.Errorf("%v, %+v", v, f)
 	}
-	x, _ := New(s)
+	x, _ := NewAnalysis(s)
 	for range 120 {
-		x.Reference(before.sample())
+		x.AddBaseline(before.sample())
 	}
 	rush, after := &site{rng: rng, rate: 300, bad: 0.2}, &site{rng: rng, rate: 100, bad: 0.001}
 	var v Verdict
-	for i := 0; v == Going; i++ {
+	for i := 0; v == Undecided; i++ {
 		from := rush
 		if i >= 130 {
 			from = after
 		}
-		v, _ = x.Try(from.sample())
+		v, _ = x.AddCanary(from.sample())
 	}
-	if v != Good {
+	if v != Passed {
 		t.Errorf("after a rush that passed: %v", v)
 	}
 }
 
 // Without anything to hold it against nothing is found worse; verdicts stay what they are.
 func TestNothingBefore(t *testing.T) {
-	x, err := New(settings)
+	x, err := NewAnalysis(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	bad := &site{rng: rand.New(rand.NewPCG(1, 1)), rate: 100, bad: 0.9, failures: 1}
-	v := Going
-	for v == Going {
-		v, _ = x.Try(bad.sample())
+	v := Undecided
+	for v == Undecided {
+		v, _ = x.AddCanary(bad.sample())
 	}
-	if v != Good {
+	if v != Passed {
 		t.Errorf("%v", v)
 	}
 	for range 100 {
-		x.Reference(Sample{Length: slot, Asked: 1000, Earned: 1000, Requests: 1000})
-		if v, _ := x.Try(bad.sample()); v != Good {
+		x.AddBaseline(Sample{Duration: slot, OfferedWeight: 1000, ServedWeight: 1000, Requests: 1000})
+		if v, _ := x.AddCanary(bad.sample()); v != Passed {
 			t.Fatalf("%v, after it was good", v)
 		}
 	}
@@ -175,33 +175,33 @@
 // is known, and a difference within the margin is never worse.
 func TestAnySamples(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := Settings{Length: rapid.Int64Range(slot, 20*slot).Draw(t, "length"), Margin: rapid.Float64Range(0, 0.5).Draw(t, "margin"),
-			Alpha: rapid.Float64Range(0.001, 0.2).Draw(t, "alpha"), Extend: rapid.IntRange(0, 2).Draw(t, "extend")}
-		x, err := New(s)
+		s := Settings{Duration: rapid.Int64Range(slot, 20*slot).Draw(t, "length"), HarmMargin: rapid.Float64Range(0, 0.5).Draw(t, "margin"),
+			Alpha: rapid.Float64Range(0.001, 0.2).Draw(t, "alpha"), MaxExtensions: rapid.IntRange(0, 2).Draw(t, "extend")}
+		x, err := NewAnalysis(s)
 		if err != nil {
 			t.Fatal(err)
 		}
 		sample := rapid.Custom(func(t *rapid.T) Sample {
 			n := rapid.Int64Range(0, 50).Draw(t, "requests")
 			asked := float64(n) * rapid.Float64Range(0, 5).Draw(t, "worth")
-			return Sample{Length: slot, Requests: n, Failed: rapid.Int64Range(0, n).Draw(t, "failed"), Asked: asked,
-				Earned: asked * rapid.Float64Range(0, 1).Draw(t, "earned")}
+			return Sample{Duration: slot, Requests: n, Failed: rapid.Int64Range(0, n).Draw(t, "failed"), OfferedWeight: asked,
+				ServedWeight: asked * rapid.Float64Range(0, 1).Draw(t, "earned")}
 		})
 		for range rapid.IntRange(0, 30).Draw(t, "before") {
-			x.Reference(sample.Draw(t, "reference"))
+			x.AddBaseline(sample.Draw(t, "reference"))
 		}
-		over := (s.Length+slot-1)/slot*int64(1+s.Extend) + 1
+		over := (s.Duration+slot-1)/slot*int64(1+s.MaxExtensions) + 1
 		for i := range over {
-			v, f := x.Try(sample.Draw(t, "tried"))
-			for _, n := range []float64{f.Service[0], f.Service[1], f.Failures[0], f.Failures[1], f.Harm, f.Demand[1]} {
+			v, f := x.AddCanary(sample.Draw(t, "tried"))
+			for _, n := range []float64{f.Service[0], f.Service[1], f.Failures[0], f.Failures[1], f.Harm, f.RequestRate[1]} {
 				if math.IsNaN(n) || math.IsInf(n, 0) {
 					t.Fatalf("%+v", f)
 				}
 			}
-			if v == Worse && (f.Harm <= s.Margin || f.Sure <= 0) {
-				t.Fatalf("worse by %v, surely %v, with a margin of %v", f.Harm, f.Sure, s.Margin)
+			if v == Degraded && (f.Harm <= s.HarmMargin || f.HarmLowerBound <= 0) {
+				t.Fatalf("worse by %v, surely %v, with a margin of %v", f.Harm, f.HarmLowerBound, s.HarmMargin)
 			}
-			if v != Going {
+			if v != Undecided {
 				return
 			}
 			if i == over-1 {
@@ -213,12 +213,12 @@
 
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for _, change := range []func(*Settings){
-		func(s *Settings) { s.Length = 0 }, func(s *Settings) { s.Least = s.Length + 1 }, func(s *Settings) { s.Margin = 1 },
-		func(s *Settings) { s.Alpha = 0 }, func(s *Settings) { s.Alpha = math.NaN() }, func(s *Settings) { s.Demand = 0.5 }, func(s *Settings) { s.Extend = -1 },
+		func(s *Settings) { s.Duration = 0 }, func(s *Settings) { s.MinDuration = s.Duration + 1 }, func(s *Settings) { s.HarmMargin = 1 },
+		func(s *Settings) { s.Alpha = 0 }, func(s *Settings) { s.Alpha = math.NaN() }, func(s *Settings) { s.MaxDemandRatio = 0.5 }, func(s *Settings) { s.MaxExtensions = -1 },
 	} {
 		s := settings
 		change(&s)
-		if _, err := New(s); err == nil {
+		if _, err := NewAnalysis(s); err == nil {
 			t.Errorf("%+v was taken", s)
 		}
 	}
@@ -228,31 +228,31 @@
 func TestNobodyAsks(t *testing.T) {
 	before := make([]Sample, 40)
 	for i := range before {
-		before[i] = Sample{Length: 250_000, Asked: 25, Earned: 25, Requests: 25}
+		before[i] = Sample{Duration: 250_000, OfferedWeight: 25, ServedWeight: 25, Requests: 25}
 	}
-	s := Settings{Length: 10_000_000, Least: 1_000_000, Margin: 0.01, Alpha: 0.001, Extend: 3}
-	x, err := New(s, before...)
+	s := Settings{Duration: 10_000_000, MinDuration: 1_000_000, HarmMargin: 0.01, Alpha: 0.001, MaxExtensions: 3}
+	x, err := NewAnalysis(s, before...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	quiet := Sample{Length: 250_000, Asked: 1, Earned: 1, Requests: 1}
+	quiet := Sample{Duration: 250_000, OfferedWeight: 1, ServedWeight: 1, Requests: 1}
 	var v Verdict
 	n := 0
-	for ; v == Going && n < 100; n++ {
-		v, _ = x.Try(quiet)
+	for ; v == Undecided && n < 100; n++ {
+		v, _ = x.AddCanary(quiet)
 	}
-	if _, f := x.Verdict(); v != Worse || f.By != "demand" || n != 4 {
-		t.Errorf("after %d slots %v by %q", n, v, f.By)
+	if _, f := x.Result(); v != Degraded || f.Metric != "demand" || n != 4 {
+		t.Errorf("after %d slots %v by %q", n, v, f.Metric)
 	}
-	x, _ = New(s, before...)
+	x, _ = NewAnalysis(s, before...)
 	for n = 0; n < 40; n++ {
 		use := before[0]
 		if n%8 == 3 {
 			use = quiet
 		}
-		v, _ = x.Try(use)
+		v, _ = x.AddCanary(use)
 	}
-	if v != Good {
+	if v != Passed {
 		t.Errorf("with quiet moments: %v", v)
 	}
 }
@@ -261,25 +261,25 @@
 func TestLittleTraffic(t *testing.T) {
 	before := make([]Sample, 40)
 	for i := range before {
-		before[i] = Sample{Length: 250_000, Asked: 2, Earned: 2, Requests: 2}
+		before[i] = Sample{Duration: 250_000, OfferedWeight: 2, ServedWeight: 2, Requests: 2}
 	}
 	for _, tc := range []struct {
 		part    float64 // served
 		verdict Verdict
 		least   int // slots at least
-	}{{1, Good, 8}, {0.5, Worse, 4}, {0.99, Unsure, 32}} {
-		x, err := New(Settings{Length: 2_000_000, Least: 500_000, Margin: 0.005, Alpha: 0.001, Extend: 3}, before...)
+	}{{1, Passed, 8}, {0.5, Degraded, 4}, {0.99, Inconclusive, 32}} {
+		x, err := NewAnalysis(Settings{Duration: 2_000_000, MinDuration: 500_000, HarmMargin: 0.005, Alpha: 0.001, MaxExtensions: 3}, before...)
 		if err != nil {
 			t.Fatal(err)
 		}
 		var v Verdict
 		n := 0
-		for ; v == Going && n < 1000; n++ {
+		for ; v == Undecided && n < 1000; n++ {
 			earned := 2.0
 			if tc.part < 1 && (tc.part == 0.5 || n == 1) {
 				earned = 1
 			}
-			v, _ = x.Try(Sample{Length: 250_000, Asked: 2, Earned: earned, Requests: 2})
+			v, _ = x.AddCanary(Sample{Duration: 250_000, OfferedWeight: 2, ServedWeight: earned, Requests: 2})
 		}
 		if v != tc.verdict || n < tc.least {
 			t.Errorf("served %v: %v after %d slots", tc.part, v, n)
