--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -61,12 +61,12 @@
 		n.pendingReads, n.queuedReads = nil, nil
 		clear(n.retryAt)
 	}
-	var known, free []string
-	known, free, n.waitReasons = n.coordinator.Progress(now, n.state)
-	for _, name := range known {
+	progress := n.coordinator.Progress(now, n.state)
+	n.waitReasons = progress.WaitReasons
+	for _, name := range progress.Acknowledged {
 		n.proposeOnce("known/"+name, now, maintenance.Command{Acknowledged: []string{name}})
 	}
-	for _, name := range free {
+	for _, name := range progress.Drained {
 		n.proposeOnce("free/"+name, now, maintenance.Command{Drained: []string{name}})
 	}
 	if n.fleetStatus != nil && now >= n.fleetStatusAt {
--- a/internal/decide/maintenance/capacity.go
+++ b/internal/decide/maintenance/capacity.go
@@ -6,114 +6,169 @@
 	"slices"
 )
 
+// This file holds the bounds on what may be out against the status of the fleet.
+
+// index returns where a machine stands in the status, or -1.
+func (f *FleetStatus) index(name string) int {
+	return slices.IndexFunc(f.Machines, func(m MachineStatus) bool { return m.Name == name })
+}
+
+// Equal reports whether two statuses are the same, machine by machine.
+func (f *FleetStatus) Equal(other FleetStatus) bool {
+	return f.Usage == other.Usage && f.PeakUsage == other.PeakUsage && slices.Equal(f.Machines, other.Machines)
+}
+
+// demand returns the capacity that the remaining machines have to have.
+func (f *FleetStatus) demand() float64 { return max(f.Usage, f.PeakUsage) }
+
 func (x *State) isHealthy(name string) bool {
-	for i := range x.Fleet.Machines {
-		if m := &x.Fleet.Machines[i]; m.Name == name {
-			return m.Healthy
+	i := x.Fleet.index(name)
+	return i >= 0 && x.Fleet.Machines[i].Healthy
+}
+
+// isOut reports whether a machine counts as out: planned or not.
+func (x *State) isOut(status *MachineStatus) bool {
+	m := x.Machines[status.Name]
+	return !status.Healthy || m != nil && m.Phase >= Draining
+}
+
+// outage is what is out of service, and what is left, beside one machine.
+type outage struct {
+	total, sameZone, sameCell, sameKind int // machines out
+	healthyInCell                       int
+	remainingCapacity                   float64
+	aloneInCell                         bool // no other machine is in its cell
+}
+
+// outageBeside returns what is out apart from the i-th machine, counted by that machine's zone, cell and kind.
+func (x *State) outageBeside(i int) (o outage) {
+	o.aloneInCell = true
+	status := &x.Fleet.Machines[i]
+	for j := range x.Fleet.Machines {
+		other := &x.Fleet.Machines[j]
+		if other.Cell == status.Cell && other.Name != status.Name {
+			o.aloneInCell = false
+		}
+		if j != i {
+			o.count(status, other, x.isOut(other))
 		}
 	}
-	return false
+	return o
 }
 
-// out says whether a machine counts as out.
-func (x *State) isOut(m *MachineStatus) bool {
-	i := x.Machines[m.Name]
-	return !m.Healthy || i != nil && i.Phase >= Draining
+// count adds another machine to an outage.
+func (o *outage) count(status, other *MachineStatus, out bool) {
+	if !out {
+		o.remainingCapacity += other.Capacity
+		if other.Cell == status.Cell {
+			o.healthyInCell++
+		}
+		return
+	}
+	o.total++
+	if other.Zone == status.Zone {
+		o.sameZone++
+	}
+	if other.Cell == status.Cell {
+		o.sameCell++
+	}
+	if other.Kind == status.Kind {
+		o.sameKind++
+	}
 }
 
-// against says why a machine must not be taken out now; "" is nothing.
-func (x *State) drainBlockedBy(i *Machine) string {
-	at := slices.IndexFunc(x.Fleet.Machines, func(m MachineStatus) bool { return m.Name == i.Name })
+// drainBlockedBy returns why a machine must not be drained now; "" is that nothing stands against it.
+func (x *State) drainBlockedBy(m *Machine) string {
+	i := x.Fleet.index(m.Name)
 	switch {
 	case x.OnHold:
 		return "all is held"
-	case x.Requests[i.Requests[0]].OnHold:
+	case x.firstRequest(m).OnHold:
 		return "it is held"
-	case at < 0:
+	case i < 0:
 		return "it is in no list now"
 	}
-	m := &x.Fleet.Machines[at]
 	if zone := x.lostZone(); zone != "" {
 		return fmt.Sprintf("more than half of zone %s is out unplanned", zone)
 	}
-	var all, zone, cell, kind, left int
-	var room float64
-	for j := range x.Fleet.Machines {
-		o := &x.Fleet.Machines[j]
-		if j == at {
-			continue
-		}
-		if !x.isOut(o) {
-			room += o.Capacity
-			left += map[bool]int{true: 1}[o.Cell == m.Cell]
-			continue
-		}
-		all++
-		zone += map[bool]int{true: 1}[o.Zone == m.Zone]
-		cell += map[bool]int{true: 1}[o.Cell == m.Cell]
-		kind += map[bool]int{true: 1}[o.Kind == m.Kind]
-	}
-	alone := !slices.ContainsFunc(x.Fleet.Machines, func(o MachineStatus) bool { return o.Cell == m.Cell && o.Name != m.Name })
+	return x.boundReachedBy(&x.Fleet.Machines[i], x.outageBeside(i))
+}
+
+// boundReachedBy returns which bound a machine would break if it were drained beside what is out; "" is none.
+func (x *State) boundReachedBy(status *MachineStatus, o outage) string {
+	s := &x.settings
+	spareable := o.remainingCapacity * (1 - s.Headroom)
 	switch {
-	case all >= x.settings.MaxOut:
-		return fmt.Sprintf("%d are out, %d may be", all, x.settings.MaxOut)
-	case x.settings.MaxOutPerZone > 0 && zone >= x.settings.MaxOutPerZone:
-		return fmt.Sprintf("%d of zone %s are out, %d may be", zone, m.Zone, x.settings.MaxOutPerZone)
-	case x.settings.MaxOutPerCell > 0 && cell >= x.settings.MaxOutPerCell:
-		return fmt.Sprintf("%d of cell %d are out, %d may be", cell, m.Cell, x.settings.MaxOutPerCell)
-	case left == 0 && !alone:
-		return fmt.Sprintf("it is the last of cell %d", m.Cell)
-	case x.settings.MaxOutPerKind > 0 && kind >= x.settings.MaxOutPerKind:
-		return fmt.Sprintf("%d of type %s are out, %d may be", kind, m.Kind, x.settings.MaxOutPerKind)
-	case room*(1-x.settings.Headroom) < max(x.Fleet.Usage, x.Fleet.PeakUsage):
-		return fmt.Sprintf("what is left would not do for what is asked for: %.2f of %.2f", max(x.Fleet.Usage, x.Fleet.PeakUsage), room*(1-x.settings.Headroom))
+	case o.total >= s.MaxOut:
+		return fmt.Sprintf("%d are out, %d may be", o.total, s.MaxOut)
+	case s.MaxOutPerZone > 0 && o.sameZone >= s.MaxOutPerZone:
+		return fmt.Sprintf("%d of zone %s are out, %d may be", o.sameZone, status.Zone, s.MaxOutPerZone)
+	case s.MaxOutPerCell > 0 && o.sameCell >= s.MaxOutPerCell:
+		return fmt.Sprintf("%d of cell %d are out, %d may be", o.sameCell, status.Cell, s.MaxOutPerCell)
+	case o.healthyInCell == 0 && !o.aloneInCell:
+		return fmt.Sprintf("it is the last of cell %d", status.Cell)
+	case s.MaxOutPerKind > 0 && o.sameKind >= s.MaxOutPerKind:
+		return fmt.Sprintf("%d of type %s are out, %d may be", o.sameKind, status.Kind, s.MaxOutPerKind)
+	case spareable < x.Fleet.demand():
+		return fmt.Sprintf("what is left would not do for what is asked for: %.2f of %.2f", x.Fleet.demand(), spareable)
 	}
 	return ""
 }
 
-// lost returns a zone of which more than half is out that nobody asked to be; "" is none.
+// lostZone returns the first zone, by name, of which more than half is out without having been drained; "" is none.
 func (x *State) lostZone() string {
-	all, gone := map[string]int{}, map[string]int{}
+	total := map[string]int{}
+	unplanned := map[string]int{}
 	for i := range x.Fleet.Machines {
-		m := &x.Fleet.Machines[i]
-		all[m.Zone]++
-		if it := x.Machines[m.Name]; !m.Healthy && (it == nil || it.Phase < Draining) {
-			gone[m.Zone]++
+		status := &x.Fleet.Machines[i]
+		total[status.Zone]++
+		m := x.Machines[status.Name]
+		if !status.Healthy && (m == nil || m.Phase < Draining) {
+			unplanned[status.Zone]++
 		}
 	}
-	for _, zone := range slices.Sorted(maps.Keys(all)) {
-		if 2*gone[zone] > all[zone] {
+	for _, zone := range slices.Sorted(maps.Keys(total)) {
+		if 2*unplanned[zone] > total[zone] {
 			return zone
 		}
 	}
 	return ""
 }
 
-// recall asks back what is out and no longer affordable: what only drains stays in, what is at work is wanted.
+// recallUnaffordable recalls what is out where the remaining capacity no longer does: a machine that only drains
+// stays in service, and one under maintenance is marked as needed back.
 func (x *State) recallUnaffordable() {
-	var room float64
-	for i := range x.Fleet.Machines {
-		if m := &x.Fleet.Machines[i]; !x.isOut(m) {
-			room += m.Capacity
+	reason := x.recallReason()
+	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
+		m := x.Machines[name]
+		switch {
+		case m.Phase == Draining && reason != "":
+			x.setPhase(m, Acknowledged)
+			m.WaitReason = reason
+			x.recordEvent("%s stays in: %s", name, reason)
+		case m.Phase == UnderMaintenance && (reason != "") != (m.RecallReason != ""):
+			m.RecallReason = reason
+			if reason != "" {
+				x.recordEvent("%s is wanted back: %s", name, reason)
+			}
 		}
 	}
-	why := ""
+}
+
+// recallReason returns why what is out is needed back; "" is that it is not.
+func (x *State) recallReason() string {
 	if zone := x.lostZone(); zone != "" {
-		why = "more than half of zone " + zone + " is out unplanned"
-	} else if len(x.Fleet.Machines) > 0 && room < max(x.Fleet.Usage, x.Fleet.PeakUsage) {
-		why = fmt.Sprintf("what is asked for is %.2f of the %.2f that are left", max(x.Fleet.Usage, x.Fleet.PeakUsage), room)
+		return "more than half of zone " + zone + " is out unplanned"
 	}
-	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
-		i := x.Machines[name]
-		switch {
-		case i.Phase == Draining && why != "":
-			x.setPhase(i, Acknowledged)
-			i.WaitReason = why
-			x.recordEvent("%s stays in: %s", name, why)
-		case i.Phase == UnderMaintenance && (why != "") != (i.RecallReason != ""):
-			if i.RecallReason = why; why != "" {
-				x.recordEvent("%s is wanted back: %s", name, why)
-			}
+	remaining := 0.0
+	for i := range x.Fleet.Machines {
+		status := &x.Fleet.Machines[i]
+		if !x.isOut(status) {
+			remaining += status.Capacity
 		}
 	}
+	if len(x.Fleet.Machines) > 0 && remaining < x.Fleet.demand() {
+		return fmt.Sprintf("what is asked for is %.2f of the %.2f that are left", x.Fleet.demand(), remaining)
+	}
+	return ""
 }
--- a/internal/decide/maintenance/coordinator.go
+++ b/internal/decide/maintenance/coordinator.go
@@ -1,130 +1,164 @@
 package maintenance
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"dunlinsail/internal/monotime"
 )
 
-// Watch is what who leads knows of how far all instances do. It begins with each leading anew.
+// Coordinator is what the leader knows of how far every instance has applied the plan. Each term of leadership has
+// one of its own, made with NewCoordinator; nothing of it is stored.
 type Coordinator struct {
 	settings  Settings
 	since     monotime.Micros
 	instances map[Instance]*instanceProgress
 }
 
-// seen is an instance, as reported.
+// instanceProgress is how far a process has come, by its last report.
 type instanceProgress struct {
 	sequence    uint64
 	planVersion uint64
 	inFlight    map[string]int
-	leaseEnd    monotime.Micros // its lease is over by any clock
+	leaseEnd    monotime.Micros // when its lease is over by any clock
 	reportedAt  monotime.Micros
 }
 
-// NewWatch returns what is known by one that leads from now on: what another before it has told instances holds for a lease at most.
+// NewCoordinator returns the knowledge of an instance that leads from now on: what leaders before it granted holds
+// for one lease at most.
 func NewCoordinator(now monotime.Micros, s Settings) *Coordinator {
 	return &Coordinator{settings: s, since: now, instances: map[Instance]*instanceProgress{}}
 }
 
-// Hear takes a report in. It says no of one that is older than another of the same process.
-func (w *Coordinator) RecordReport(now monotime.Micros, name string, r Report) bool {
-	who := Instance{name, r.Incarnation}
-	x := w.instances[who]
-	if x == nil {
-		x = &instanceProgress{leaseEnd: w.since + w.settings.withDrift(w.settings.LeaseDuration)}
-		w.instances[who] = x
+// RecordReport records an instance's report, and reports whether it is newer than the last one of the same process.
+func (c *Coordinator) RecordReport(now monotime.Micros, name string, report Report) bool {
+	instance := Instance{Name: name, Incarnation: report.Incarnation}
+	progress := c.instances[instance]
+	if progress == nil {
+		progress = &instanceProgress{leaseEnd: c.earlierLeasesEnd()}
+		c.instances[instance] = progress
 	}
-	if r.Sequence <= x.sequence {
+	if report.Sequence <= progress.sequence {
 		return false
 	}
-	x.sequence, x.planVersion, x.inFlight, x.reportedAt = r.Sequence, r.PlanVersion, r.InFlight, now
+	progress.sequence = report.Sequence
+	progress.planVersion = report.PlanVersion
+	progress.inFlight = report.InFlight
+	progress.reportedAt = now
 	return true
 }
 
-// Telling notes that an instance is told an order now, and returns what it is told.
-func (w *Coordinator) Grant(now monotime.Micros, name string, r Report, o Plan) PlanGrant {
-	x := w.instances[Instance{name, r.Incarnation}]
-	x.leaseEnd = max(x.leaseEnd, now+w.settings.withDrift(w.settings.LeaseDuration))
-	return PlanGrant{Incarnation: r.Incarnation, Sequence: r.Sequence, Plan: o, LeaseDuration: w.settings.LeaseDuration}
+// earlierLeasesEnd returns when all leases that leaders before this one granted are over by any clock.
+func (c *Coordinator) earlierLeasesEnd() monotime.Micros {
+	return c.since + c.settings.withDrift(c.settings.LeaseDuration)
 }
 
-// Commands returns what is to be entered into the log by what is known: machines that all know as ahead, and such as are free. why says, by machine, what
-// is waited for.
-func (w *Coordinator) Progress(now monotime.Micros, x *State) (known, free []string, why map[string]string) {
-	why = map[string]string{}
+// Grant returns the answer to a report that was recorded, and notes the lease that it gives.
+func (c *Coordinator) Grant(now monotime.Micros, name string, report Report, plan Plan) PlanGrant {
+	progress := c.instances[Instance{Name: name, Incarnation: report.Incarnation}]
+	progress.leaseEnd = max(progress.leaseEnd, now+c.settings.withDrift(c.settings.LeaseDuration))
+	return PlanGrant{
+		Incarnation:   report.Incarnation,
+		Sequence:      report.Sequence,
+		Plan:          plan,
+		LeaseDuration: c.settings.LeaseDuration,
+	}
+}
+
+// Progress is what instances' reports allow to be entered into the log.
+type Progress struct {
+	Acknowledged []string          // machines that all instances know as announced
+	Drained      []string          // machines that nobody sends to, with nothing in flight there
+	WaitReasons  map[string]string // what the others wait for, by machine
+}
+
+// Progress returns which machines of a state may enter their next phase, by name.
+func (c *Coordinator) Progress(now monotime.Micros, x *State) Progress {
+	progress := Progress{WaitReasons: map[string]string{}}
 	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
-		i := x.Machines[name]
-		switch i.Phase {
+		m := x.Machines[name]
+		switch m.Phase {
 		case Announced:
-			if why[name] = w.notAcknowledgedBy(now, x, i); why[name] == "" {
-				known = append(known, name)
+			progress.WaitReasons[name] = c.notAcknowledgedBy(x, m)
+			if progress.WaitReasons[name] == "" {
+				progress.Acknowledged = append(progress.Acknowledged, name)
 			}
 		case Draining:
-			if why[name] = w.stillInUseBy(now, x, i); why[name] == "" {
-				free = append(free, name)
+			progress.WaitReasons[name] = c.stillInUseBy(now, x, m)
+			if progress.WaitReasons[name] == "" {
+				progress.Drained = append(progress.Drained, name)
 			}
 		}
 	}
-	return known, free, why
+	return progress
 }
 
-// unknown says who may not know a machine as ahead; "" is nobody.
-func (w *Coordinator) notAcknowledgedBy(now monotime.Micros, x *State, i *Machine) string {
+// notAcknowledgedBy returns which instance may not know a machine as announced; "" is none.
+func (c *Coordinator) notAcknowledgedBy(x *State, m *Machine) string {
 	for _, name := range slices.Sorted(maps.Keys(x.Instances)) {
-		s := w.instances[Instance{name, x.Instances[name]}]
-		if s == nil || s.planVersion < i.PlanVersion {
+		progress := c.instances[Instance{Name: name, Incarnation: x.Instances[name]}]
+		if progress == nil || progress.planVersion < m.PlanVersion {
 			return "instance " + name + " has not been told"
 		}
 	}
 	return ""
 }
 
-// sending says who may still send to a machine, or have something open there; "" is nobody. One whose lease has been over for as long as
-// it may have things open has neither, since it knew the machine as ahead.
-func (w *Coordinator) stillInUseBy(now monotime.Micros, x *State, i *Machine) string {
-	over := func(until monotime.Micros) bool { return now >= until+w.settings.withDrift(w.settings.InFlightGrace) }
-	if !over(w.since + w.settings.withDrift(w.settings.LeaseDuration)) {
-		return "who led before may have told a process that is not heard yet" // of whichever life
+// stillInUseBy returns who may still send to a draining machine or have something in flight there; "" is nobody. An
+// instance whose lease and grace time are over does neither: it knew the machine as announced.
+func (c *Coordinator) stillInUseBy(now monotime.Micros, x *State, m *Machine) string {
+	if !c.ended(now, c.earlierLeasesEnd()) {
+		return "who led before may have told a process that is not heard yet"
 	}
 	for _, name := range slices.Sorted(maps.Keys(x.Instances)) {
-		who := Instance{name, x.Instances[name]}
-		s := w.instances[who]
+		progress := c.instances[Instance{Name: name, Incarnation: x.Instances[name]}]
 		switch {
-		case s == nil || over(s.leaseEnd):
-		case s.planVersion < i.PlanVersion:
+		case progress == nil || c.ended(now, progress.leaseEnd):
+		case progress.planVersion < m.PlanVersion:
 			return "instance " + name + " has not been told to stop"
-		case s.inFlight[i.Name] > 0:
+		case progress.inFlight[m.Name] > 0:
 			return "instance " + name + " still has something open there"
 		}
 	}
-	// A process whose place another of its name has may still have things open.
-	for _, who := range w.sortedInstances() {
-		if s := w.instances[who]; x.Instances[who.Name] != who.Incarnation && !over(s.leaseEnd) {
-			return "a former process of instance " + who.Name + " may have something open"
+	return c.predecessorInUse(now, x)
+}
+
+// predecessorInUse returns which instance's earlier process may still have something in flight; "" is none.
+func (c *Coordinator) predecessorInUse(now monotime.Micros, x *State) string {
+	for _, instance := range c.sortedInstances() {
+		current := x.Instances[instance.Name] == instance.Incarnation
+		if !current && !c.ended(now, c.instances[instance].leaseEnd) {
+			return "a former process of instance " + instance.Name + " may have something open"
 		}
 	}
 	return ""
 }
 
-func (w *Coordinator) sortedInstances() []Instance {
-	return slices.SortedFunc(maps.Keys(w.instances), func(a, b Instance) int {
-		if a.Name != b.Name {
-			return map[bool]int{true: -1, false: 1}[a.Name < b.Name]
-		}
-		return map[bool]int{true: -1, false: 1}[a.Incarnation < b.Incarnation]
+// ended reports whether the grace time after a lease is over by any clock.
+func (c *Coordinator) ended(now, leaseEnd monotime.Micros) bool {
+	return now >= leaseEnd+c.settings.withDrift(c.settings.InFlightGrace)
+}
+
+func (c *Coordinator) sortedInstances() []Instance {
+	return slices.SortedFunc(maps.Keys(c.instances), func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
 }
 
-// Lost returns instances that have not been heard for so long. Whoever is not told of machines next in line keeps them from being known: whether
-// such a process still runs nobody here can tell.
-func (w *Coordinator) SilentInstances(now monotime.Micros, x *State, after monotime.Micros) (all []Instance) {
+// SilentInstances returns the instances that have not reported for a time, by name. They keep machines from being
+// acknowledged: whether such a process still runs cannot be told here.
+func (c *Coordinator) SilentInstances(now monotime.Micros, x *State, after monotime.Micros) []Instance {
+	var silent []Instance
 	for _, name := range slices.Sorted(maps.Keys(x.Instances)) {
-		who := Instance{name, x.Instances[name]}
-		if s := w.instances[who]; s != nil && now >= s.reportedAt+after || s == nil && now >= w.since+after {
-			all = append(all, who)
+		instance := Instance{Name: name, Incarnation: x.Instances[name]}
+		lastReport := c.since
+		if progress := c.instances[instance]; progress != nil {
+			lastReport = progress.reportedAt
+		}
+		if now >= lastReport+after {
+			silent = append(silent, instance)
 		}
 	}
-	return all
+	return silent
 }
--- a/internal/decide/maintenance/doc.go
+++ b/internal/decide/maintenance/doc.go
@@ -1,12 +1,24 @@
-// Package maintenance decides which machines are taken out for work, in which order, and when nobody sends to one any more. State is the
-// order that a fleet's instances settle among themselves: it is built from a log of commands, which all that keep it apply alike.
-// Duty is what one instance has to obey of it, Watch what the one that leads knows of how far all instances do. All three are deterministic
-// state machines for one caller at a time: no I/O, no clock, no chance. They may not know how a log is agreed on, sockets or balancers.
-//
-// An instance that is cut off does not hear of the order and must not go on sending to a machine under work. So a machine is told
-// **ahead**: nothing is taken out that not every instance was told of as next in line. An order holds at an instance for a lease; one
-// whose lease is over sends nothing new to any machine that it knows to be ahead or out, and a while later ends what it still has open
-// there. So a machine is free once every instance has either said that it has stopped and has nothing open there, or has had no lease for
-// that while, by any clock. How many may be ahead is bounded: that is what an instance that is cut off can lose. An instance that starts sends
-// nothing before it has heard an order. docs/design/machines-out.md has the argument at length.
+// Package maintenance decides which machines are taken out of service for maintenance, in which order, and when no
+// instance sends requests to a machine any more, so that it may be worked on.
+//
+// It holds three deterministic state machines, each for one caller at a time, without I/O, clocks or randomness:
+//
+//   - State is the replicated plan. It is built from a log of Commands, which every replica applies in the same order
+//     (package consensus keeps that log).
+//   - Follower is what one instance has to apply of the plan. It holds the plan under a lease.
+//   - Coordinator is what the leader knows of how far every instance has applied the plan.
+//
+// # Safety
+//
+// An instance that is cut off does not receive a new plan and must still not send to a machine under maintenance.
+// Machines are therefore announced first: none is drained before every instance has acknowledged a plan that lists it
+// as announced. A plan holds at an instance for a lease; when the lease has expired, the instance sends nothing new
+// to any machine that it knows as announced or excluded, and after Settings.InFlightGrace it ends the requests that
+// are still in flight there. So a machine is drained once every instance either reports that it has the plan and
+// nothing in flight there, or has had no lease for the grace time by any clock whose rate is off by
+// Settings.MaxClockDrift at most. Settings.MaxAnnounced bounds what an instance that is cut off can lose. An instance
+// that starts sends nothing before it has received a plan. docs/design/machines-out.md has the argument at length;
+// the leases are those of Gray and Cheriton (1989).
+//
+// The package must not import transports, the raft log, or balancers.
 package maintenance
--- a/internal/decide/maintenance/encoding_test.go
+++ b/internal/decide/maintenance/encoding_test.go
@@ -9,13 +9,16 @@
 	"path/filepath"
 	"reflect"
 	"testing"
+
+	"dunlinsail/internal/monotime"
 )
 
-// The files under testdata/encoded and testdata/replay were written by the build of commit 870f4ac, before any tag was set on these
-// structures. They are what a raft log on disk holds and what a voter of that build sends: they are read here and must never be rewritten.
+// The files under testdata/encoded and testdata/replay were written by the build of commit 870f4ac, before any tag
+// was set on these structures. They are what a raft log on disk holds and what a voter of that build sends: they are
+// read here and must never be rewritten.
 
-// fill sets every exported field under v to a value of its own, and returns the number after the last one used. Maps get one key, slices
-// two elements: their encodings then do not depend on the order of a map.
+// fill sets every exported field under v to a value of its own, and returns the number after the last one used. Maps
+// get one key, slices two elements: their encodings then do not depend on the order of a map.
 func fill(t testing.TB, v reflect.Value, next int) int {
 	t.Helper()
 	switch v.Kind() {
@@ -67,7 +70,8 @@
 	}
 }
 
-// A stored or sent structure has the same bytes as by the build before its fields had tags, and those bytes have every field come back.
+// A stored or sent structure has the same bytes as by the build before its fields had tags, and those bytes have
+// every field come back.
 func TestEncodedFormIsThatOfTheBuildBefore(t *testing.T) {
 	for name, empty := range encoded() {
 		for _, form := range []string{"empty", "filled"} {
@@ -94,8 +98,8 @@
 	}
 }
 
-// A log of the build before has this build come to that build's state, byte for byte, also when the state is stored and restored after each
-// of its entries.
+// A log of the build before has this build come to that build's state, byte for byte, also when the state is stored
+// and restored after each of its entries.
 func TestLogOfTheBuildBeforeGivesItsState(t *testing.T) {
 	want := readGolden(t, filepath.Join("replay", "state.json"))
 	direct, err := NewState(replaySettings)
@@ -147,7 +151,10 @@
 }
 
 // replaySettings are those by which the stored log was applied.
-var replaySettings = Settings{MaxOut: 2, MaxOutPerZone: 1, MaxOutPerCell: 1, MaxAnnounced: 4, Headroom: 0.1, LeaseDuration: second, InFlightGrace: second, Warmup: 2 * second}
+var replaySettings = Settings{
+	MaxOut: 2, MaxOutPerZone: 1, MaxOutPerCell: 1, MaxAnnounced: 4, Headroom: 0.1,
+	LeaseDuration: monotime.Second, InFlightGrace: monotime.Second, Warmup: 2 * monotime.Second,
+}
 
 func readGolden(t testing.TB, name string) []byte {
 	t.Helper()
--- a/internal/decide/maintenance/follower.go
+++ b/internal/decide/maintenance/follower.go
@@ -6,98 +6,117 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Report is what an instance says of how far it obeys, and the question for its next order.
+// Report says how far an instance has applied the plan, and asks the leader for the next one.
 type Report struct {
 	Incarnation uint64         `json:"Life"`
-	Sequence    uint64         `json:"Number"`  // of the report; they grow
-	PlanVersion uint64         `json:"Version"` // of the order that it obeys; 0 is none yet
-	InFlight    map[string]int `json:"Open"`    // of machines that nothing new may go to: what is still open there
+	Sequence    uint64         `json:"Number"`  // grows with each report of a process; from 1
+	PlanVersion uint64         `json:"Version"` // of the plan that it applies; 0 is none yet
+	InFlight    map[string]int `json:"Open"`    // requests in flight at machines that nothing new may go to
 }
 
-// Told answers a Report with the order, which holds for so long from when the report went out.
+// PlanGrant answers a Report with the plan, under a lease that runs from when the report was sent.
 type PlanGrant struct {
-	Incarnation   uint64          `json:"Life"`
-	Sequence      uint64          `json:"Number"`
+	Incarnation   uint64          `json:"Life"`   // of the report,
+	Sequence      uint64          `json:"Number"` // and its number
 	Plan          Plan            `json:"Order"`
 	LeaseDuration monotime.Micros `json:"Lease"`
 }
 
-// Duty is what one instance has to obey. Make one with NewDuty.
+// rememberedReports is how many reports may be under way at once: a grant that answers an older one is dropped.
+const rememberedReports = 8
+
+// Follower is what one instance has to apply of the plan. Make one with NewFollower.
 type Follower struct {
-	settings    Settings
-	incarnation uint64
-	plan        Plan
-	hasPlan     bool
-	leaseEnd    monotime.Micros // the order holds
-	sentReports [8]struct {
-		number uint64
-		at     monotime.Micros
-	}
+	settings     Settings
+	incarnation  uint64
+	plan         Plan
+	hasPlan      bool
+	leaseEnd     monotime.Micros
+	sentReports  [rememberedReports]sentReport // by sequence, as a ring
 	lastSequence uint64
 }
 
-// NewDuty returns the duty of a process that has heard nothing: until it has, it must send nowhere.
-func NewFollower(s Settings, life uint64) (*Follower, error) {
+type sentReport struct {
+	sequence uint64
+	sentAt   monotime.Micros
+}
+
+// NewFollower returns the follower of a process that has received no plan yet, or a *SettingError. Until HasPlan it
+// must send nothing to any machine.
+func NewFollower(s Settings, incarnation uint64) (*Follower, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	return &Follower{settings: s, incarnation: life}, nil
+	return &Follower{settings: s, incarnation: incarnation}, nil
 }
 
-// Heard says whether it has heard an order at all.
-func (d *Follower) HasPlan() bool { return d.hasPlan }
+// HasPlan reports whether it has received a plan at all.
+func (f *Follower) HasPlan() bool { return f.hasPlan }
 
-// Inherit begins with what a process obeys whose place this one takes, until when that holds.
-func (d *Follower) Inherit(o Plan, until monotime.Micros) {
-	d.plan, d.hasPlan, d.leaseEnd = o, true, until
+// Inherit sets the plan, and the end of its lease, that the process applies whose successor this one is.
+func (f *Follower) Inherit(plan Plan, leaseEnd monotime.Micros) {
+	f.plan = plan
+	f.hasPlan = true
+	f.leaseEnd = leaseEnd
 }
 
-// Report returns a report that goes out now; open says what is open at a machine.
-func (d *Follower) NextReport(now monotime.Micros, open func(machine string) int) Report {
-	d.lastSequence++
-	at := &d.sentReports[d.lastSequence%uint64(len(d.sentReports))]
-	at.number, at.at = d.lastSequence, now
-	r := Report{Incarnation: d.incarnation, Sequence: d.lastSequence, InFlight: map[string]int{}}
-	if d.hasPlan {
-		r.PlanVersion = d.plan.Version
+// NextReport returns a report that is sent now. inFlight returns how many requests are in flight at a machine.
+func (f *Follower) NextReport(now monotime.Micros, inFlight func(machine string) int) Report {
+	f.lastSequence++
+	*f.sentReport(f.lastSequence) = sentReport{sequence: f.lastSequence, sentAt: now}
+	report := Report{Incarnation: f.incarnation, Sequence: f.lastSequence, InFlight: map[string]int{}}
+	if f.hasPlan {
+		report.PlanVersion = f.plan.Version
 	}
-	for _, name := range d.ExcludedMachines(now) {
-		if n := open(name); n > 0 {
-			r.InFlight[name] = n
+	for _, name := range f.ExcludedMachines(now) {
+		if count := inFlight(name); count > 0 {
+			report.InFlight[name] = count
 		}
 	}
-	return r
+	return report
 }
 
-// Hear takes an order in, and says whether it changes what is to be obeyed.
-func (d *Follower) Apply(now monotime.Micros, t PlanGrant) (changed bool) {
-	at := d.sentReports[t.Sequence%uint64(len(d.sentReports))]
-	until := at.at + min(t.LeaseDuration, d.settings.LeaseDuration)
-	if t.Incarnation != d.incarnation || at.number != t.Sequence || t.Sequence == 0 || t.Plan.Version < d.plan.Version || until <= d.leaseEnd || now >= until {
-		return false // late, twice, or of before
+func (f *Follower) sentReport(sequence uint64) *sentReport {
+	return &f.sentReports[sequence%rememberedReports]
+}
+
+// Apply applies a grant and reports whether ExcludedMachines or the plan may be others than before. It drops grants
+// that are late, come twice, or answer another process or an older plan than the one that is applied.
+func (f *Follower) Apply(now monotime.Micros, grant PlanGrant) (changed bool) {
+	report := *f.sentReport(grant.Sequence)
+	if grant.Incarnation != f.incarnation || report.sequence != grant.Sequence || grant.Sequence == 0 {
+		return false
+	}
+	leaseEnd := report.sentAt + min(grant.LeaseDuration, f.settings.LeaseDuration)
+	if grant.Plan.Version < f.plan.Version || leaseEnd <= f.leaseEnd || now >= leaseEnd {
+		return false
 	}
-	over := now >= d.leaseEnd
-	changed = over || !d.hasPlan || t.Plan.Version != d.plan.Version
-	d.plan, d.hasPlan, d.leaseEnd = t.Plan, true, until
+	expired := now >= f.leaseEnd
+	changed = expired || !f.hasPlan || grant.Plan.Version != f.plan.Version
+	f.plan = grant.Plan
+	f.hasPlan = true
+	f.leaseEnd = leaseEnd
 	return changed
 }
 
-// Out returns the machines that nothing new may go to now, in order. Where no order holds, those that are next in line are among them.
-func (d *Follower) ExcludedMachines(now monotime.Micros) []string {
-	out := slices.Clone(d.plan.Excluded)
-	if now >= d.leaseEnd {
-		out = append(out, d.plan.Announced...)
-		slices.Sort(out)
+// ExcludedMachines returns the machines that nothing new may go to now, by name. Once the lease has expired,
+// announced ones are among them.
+func (f *Follower) ExcludedMachines(now monotime.Micros) []string {
+	excluded := slices.Clone(f.plan.Excluded)
+	if now >= f.leaseEnd {
+		excluded = append(excluded, f.plan.Announced...)
+		slices.Sort(excluded)
 	}
-	return out
+	return excluded
 }
 
-// Alone says whether no order has held for so long that what is still open at machines that are ahead or out has to end.
-func (d *Follower) MustEndInFlight(now monotime.Micros) bool {
-	return d.hasPlan && now >= d.leaseEnd+d.settings.InFlightGrace
+// MustEndInFlight reports whether the lease expired so long ago that what is in flight at excluded machines has to end.
+func (f *Follower) MustEndInFlight(now monotime.Micros) bool {
+	return f.hasPlan && now >= f.leaseEnd+f.settings.InFlightGrace
 }
 
-// Holds returns the order that was heard last, until when it holds, and when what is open at its machines has to end.
-func (d *Follower) CurrentPlan() (o Plan, until, end monotime.Micros) {
-	return d.plan, d.leaseEnd, d.leaseEnd + d.settings.InFlightGrace
+// CurrentPlan returns the plan that was applied last, the end of its lease, and when what is in flight at its
+// machines has to end.
+func (f *Follower) CurrentPlan() (plan Plan, leaseEnd, inFlightEnd monotime.Micros) {
+	return f.plan, f.leaseEnd, f.leaseEnd + f.settings.InFlightGrace
 }
--- a/internal/decide/maintenance/requests.go
+++ b/internal/decide/maintenance/requests.go
@@ -1,72 +1,86 @@
 package maintenance
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 )
 
-func (x *State) addRequest(j Request) (string, error) {
-	if j.ID == "" || len(j.Machines) == 0 || j.Duration <= 0 {
-		return "", fmt.Errorf("an id, a machine and a time are needed")
-	}
-	if old := x.Requests[j.ID]; old != nil {
-		return x.describe(old), nil
-	}
-	j.Machines = slices.Clone(j.Machines)
-	slices.Sort(j.Machines)
-	j.Machines = slices.Compact(j.Machines)
-	for _, name := range j.Machines {
-		if len(x.Fleet.Machines) > 0 && !slices.ContainsFunc(x.Fleet.Machines, func(m MachineStatus) bool { return m.Name == name }) {
+// This file applies operators' commands. Errors are answers to them: every replica returns the same, and nothing
+// changes.
+
+var errIncompleteRequest = errors.New("an id, a machine and a time are needed")
+
+func unknownRequest(id string) error { return fmt.Errorf("no job is named %q", id) }
+
+func (x *State) addRequest(request Request) (answer string, err error) {
+	if request.ID == "" || len(request.Machines) == 0 || request.Duration <= 0 {
+		return "", errIncompleteRequest
+	}
+	if earlier := x.Requests[request.ID]; earlier != nil {
+		return x.describe(earlier), nil
+	}
+	request.Machines = slices.Clone(request.Machines)
+	slices.Sort(request.Machines)
+	request.Machines = slices.Compact(request.Machines)
+	for _, name := range request.Machines {
+		if len(x.Fleet.Machines) > 0 && x.Fleet.index(name) < 0 {
 			return "", fmt.Errorf("no machine is named %q", name)
 		}
 	}
-	j.RequestedAt = x.Now
-	x.Requests[j.ID] = &j
-	for _, name := range j.Machines {
-		i := x.Machines[name]
-		switch {
-		case i == nil:
-			x.Machines[name] = &Machine{Name: name, Requests: []string{j.ID}, Since: x.Now}
-		case i.Phase == Returning:
-			i.Requests = []string{j.ID}
-			x.setPhase(i, Requested)
-		default:
-			i.Requests = append(i.Requests, j.ID) // another has asked for it: it is out for both
-			if i.Phase == UnderMaintenance {
-				i.DueAt = max(i.DueAt, x.Now+j.Duration)
-			}
-		}
+	request.RequestedAt = x.Now
+	x.Requests[request.ID] = &request
+	for _, name := range request.Machines {
+		x.requireMachine(name, &request)
 	}
-	x.recordEvent("%s asks for %s: %s", j.Requester, strings.Join(j.Machines, ", "), j.Reason)
+	x.recordEvent("%s asks for %s: %s", request.Requester, strings.Join(request.Machines, ", "), request.Reason)
 	x.advance()
-	return x.describe(&j), nil
+	return x.describe(&request), nil
 }
 
-// say tells how a job stands, and what comes next.
-func (x *State) describe(j *Request) string {
+// requireMachine adds a request to those that need a machine out.
+func (x *State) requireMachine(name string, request *Request) {
+	m := x.Machines[name]
+	switch {
+	case m == nil:
+		x.Machines[name] = &Machine{Name: name, Requests: []string{request.ID}, Since: x.Now}
+	case m.Phase == Returning:
+		m.Requests = []string{request.ID}
+		x.setPhase(m, Requested)
+	default:
+		m.Requests = append(m.Requests, request.ID)
+		if m.Phase == UnderMaintenance {
+			m.DueAt = max(m.DueAt, x.Now+request.Duration)
+		}
+	}
+}
+
+// describe returns the phase of each of a request's machines, and what it waits for.
+func (x *State) describe(request *Request) string {
 	var parts []string
-	for _, name := range j.Machines {
-		i := x.Machines[name]
+	for _, name := range request.Machines {
+		m := x.Machines[name]
 		switch {
-		case i == nil || !slices.Contains(i.Requests, j.ID):
+		case m == nil || !slices.Contains(m.Requests, request.ID):
 			parts = append(parts, name+" is back")
-		case i.WaitReason != "":
-			parts = append(parts, fmt.Sprintf("%s is %v: %s", name, i.Phase, i.WaitReason))
+		case m.WaitReason != "":
+			parts = append(parts, fmt.Sprintf("%s is %v: %s", name, m.Phase, m.WaitReason))
 		default:
-			parts = append(parts, fmt.Sprintf("%s is %v", name, i.Phase))
+			parts = append(parts, fmt.Sprintf("%s is %v", name, m.Phase))
 		}
 	}
 	return strings.Join(parts, "; ")
 }
 
-// cancel takes a job back: what is at work returns, what has not begun is forgotten.
-func (x *State) cancelRequest(id string) (string, error) {
-	j := x.Requests[id]
-	if j == nil {
-		return "", fmt.Errorf("no job is named %q", id)
+// cancelRequest withdraws a request: machines under maintenance return, and those that were not drained stay in
+// service.
+func (x *State) cancelRequest(id string) (answer string, err error) {
+	request := x.Requests[id]
+	if request == nil {
+		return "", unknownRequest(id)
 	}
-	for _, name := range j.Machines {
+	for _, name := range request.Machines {
 		x.releaseMachine(name, id)
 	}
 	x.recordEvent("%s is cancelled", id)
@@ -74,62 +88,72 @@
 	return "cancelled", nil
 }
 
-func (x *State) completeRequest(d Completion) (string, error) {
-	j := x.Requests[d.Request]
-	if j == nil {
-		return "", fmt.Errorf("no job is named %q", d.Request)
-	}
-	of := j.Machines
-	if d.Machine != "" {
-		if of = []string{d.Machine}; !slices.Contains(j.Machines, d.Machine) {
-			return "", fmt.Errorf("%s does not ask for %q", d.Request, d.Machine)
+// completeRequest releases a machine of a request, or all of them, and drops the request once it needs none any more.
+func (x *State) completeRequest(c Completion) (answer string, err error) {
+	request := x.Requests[c.Request]
+	if request == nil {
+		return "", unknownRequest(c.Request)
+	}
+	machines := request.Machines
+	if c.Machine != "" {
+		machines = []string{c.Machine}
+		if !slices.Contains(request.Machines, c.Machine) {
+			return "", fmt.Errorf("%s does not ask for %q", c.Request, c.Machine)
 		}
 	}
-	for _, name := range of {
-		x.releaseMachine(name, d.Request)
+	for _, name := range machines {
+		x.releaseMachine(name, c.Request)
 	}
-	answer := x.describe(j)
-	if !slices.ContainsFunc(j.Machines, func(name string) bool { i := x.Machines[name]; return i != nil && slices.Contains(i.Requests, j.ID) }) {
-		delete(x.Requests, j.ID)
+	answer = x.describe(request)
+	if !slices.ContainsFunc(request.Machines, func(name string) bool { return x.needs(request.ID, name) }) {
+		delete(x.Requests, request.ID)
 	}
 	return answer, nil
 }
 
-// leave has a job want a machine no more. Once none does, one that is out returns, and another is in no order any more.
-func (x *State) releaseMachine(name, id string) {
-	i := x.Machines[name]
-	if i == nil || !slices.Contains(i.Requests, id) {
+// needs reports whether a request still needs a machine out.
+func (x *State) needs(requestID, name string) bool {
+	m := x.Machines[name]
+	return m != nil && slices.Contains(m.Requests, requestID)
+}
+
+// releaseMachine removes a request from those that need a machine out. Once there is none, a machine under
+// maintenance returns, and any other leaves the plan.
+func (x *State) releaseMachine(name, requestID string) {
+	if !x.needs(requestID, name) {
 		return
 	}
-	i.Requests = slices.DeleteFunc(i.Requests, func(o string) bool { return o == id })
+	m := x.Machines[name]
+	m.Requests = slices.DeleteFunc(m.Requests, func(id string) bool { return id == requestID })
 	switch {
-	case len(i.Requests) > 0:
-	case i.Phase == UnderMaintenance:
-		x.setPhase(i, Returning)
+	case len(m.Requests) > 0:
+	case m.Phase == UnderMaintenance:
+		x.setPhase(m, Returning)
 		x.recordEvent("%s returns, cold", name)
-	case i.Phase == Draining:
-		// Nothing was done to it: requests may go there as before.
+	case m.Phase == Draining:
+		// Nothing was done to the machine: it needs no warm-up.
 		x.PlanVersion++
 		delete(x.Machines, name)
 		x.recordEvent("%s stays in", name)
 	default:
-		if i.Phase == Announced || i.Phase == Acknowledged {
+		if listOf(m.Phase) == listAnnounced {
 			x.PlanVersion++
 		}
 		delete(x.Machines, name)
 	}
 }
 
-func (x *State) setHold(h Hold) (string, error) {
+// setHold starts or ends a hold of a request, or of all.
+func (x *State) setHold(h Hold) (answer string, err error) {
 	if h.Request == "" {
 		x.OnHold = h.On
 		x.recordEvent("held: %v", h.On)
 		return "held", nil
 	}
-	j := x.Requests[h.Request]
-	if j == nil {
-		return "", fmt.Errorf("no job is named %q", h.Request)
+	request := x.Requests[h.Request]
+	if request == nil {
+		return "", unknownRequest(h.Request)
 	}
-	j.OnHold = h.On
-	return x.describe(j), nil
+	request.OnHold = h.On
+	return x.describe(request), nil
 }
--- a/internal/decide/maintenance/schedule.go
+++ b/internal/decide/maintenance/schedule.go
@@ -7,86 +7,126 @@
 	"slices"
 )
 
-// step does what has become due or possible.
+// This file decides which machine goes on to its next phase, and what stands against it.
+
+// advance carries out all phase changes that have become due or possible.
 func (x *State) advance() {
 	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
-		i := x.Machines[name]
-		switch {
-		case i.Phase == UnderMaintenance && x.Now >= i.DueAt && !i.Overdue:
-			i.Overdue = true
-			x.recordEvent("%s was to be done by now: work done, or ask for longer", name)
-		case i.Phase == Returning && x.Now >= i.Since+x.settings.Warmup && x.isHealthy(name):
-			delete(x.Machines, name)
-			x.recordEvent("%s is back", name)
-		case i.Phase == Returning && x.Now >= i.Since+x.settings.Warmup && i.WaitReason == "":
-			i.WaitReason = "it is back, and not well"
-			x.recordEvent("%s is back, and not well", name)
-		}
+		x.advanceOut(x.Machines[name])
 	}
 	x.recallUnaffordable()
-	next := x.queue()
-	ahead := 0
-	for _, i := range x.Machines {
-		ahead += map[bool]int{true: 1}[i.Phase == Announced || i.Phase == Acknowledged]
+	queue := x.queue()
+	x.announce(queue)
+	x.drain(queue)
+}
+
+// advanceOut has a machine that is out become overdue, or go back into service after its warm-up.
+func (x *State) advanceOut(m *Machine) {
+	warmedUp := m.Phase == Returning && x.Now >= m.Since+x.settings.Warmup
+	switch {
+	case m.Phase == UnderMaintenance && x.Now >= m.DueAt && !m.Overdue:
+		m.Overdue = true
+		x.recordEvent("%s was to be done by now: work done, or ask for longer", m.Name)
+	case warmedUp && x.isHealthy(m.Name):
+		delete(x.Machines, m.Name)
+		x.recordEvent("%s is back", m.Name)
+	case warmedUp && m.WaitReason == "":
+		m.WaitReason = "it is back, and not well"
+		x.recordEvent("%s is back, and not well", m.Name)
 	}
-	// What was drained and stays in is next in line again: the last of those gives way.
-	for _, i := range slices.Backward(next) {
-		if ahead > x.settings.MaxAnnounced && (i.Phase == Announced || i.Phase == Acknowledged) {
-			x.setPhase(i, Requested)
-			ahead--
+}
+
+// announce has the first of the queue be announced, as many as may be.
+func (x *State) announce(queue []*Machine) {
+	announced := 0
+	for _, m := range x.Machines {
+		if listOf(m.Phase) == listAnnounced {
+			announced++
+		}
+	}
+	// A machine whose drain was recalled is announced again, which may be one too many: the last of the queue yields.
+	for _, m := range slices.Backward(queue) {
+		if announced > x.settings.MaxAnnounced && listOf(m.Phase) == listAnnounced {
+			x.setPhase(m, Requested)
+			announced--
 		}
 	}
-	for _, i := range next {
-		if i.Phase != Requested {
+	for _, m := range queue {
+		if m.Phase != Requested {
 			continue
 		}
-		if ahead >= x.settings.MaxAnnounced && x.preemptFor(next, i) {
-			ahead--
+		if announced >= x.settings.MaxAnnounced && x.preemptFor(m, queue) {
+			announced--
 		}
-		if ahead < x.settings.MaxAnnounced {
-			x.setPhase(i, Announced)
-			ahead++
+		if announced < x.settings.MaxAnnounced {
+			x.setPhase(m, Announced)
+			announced++
 		} else {
-			i.WaitReason = fmt.Sprintf("%d are next in line before it", ahead)
+			m.WaitReason = fmt.Sprintf("%d are next in line before it", announced)
 		}
 	}
-	for _, i := range next {
-		if i.Phase != Acknowledged {
+}
+
+// drain starts to drain the acknowledged machines against which nothing stands.
+func (x *State) drain(queue []*Machine) {
+	for _, m := range queue {
+		if m.Phase != Acknowledged {
 			continue
 		}
-		if i.WaitReason = x.drainBlockedBy(i); i.WaitReason == "" {
-			x.DrainsByRequester[x.Requests[i.Requests[0]].Requester]++
-			x.setPhase(i, Draining)
-			x.recordEvent("%s is drained", i.Name)
+		m.WaitReason = x.drainBlockedBy(m)
+		if m.WaitReason != "" {
+			continue
 		}
+		x.DrainsByRequester[x.firstRequest(m).Requester]++
+		x.setPhase(m, Draining)
+		x.recordEvent("%s is drained", m.Name)
 	}
 }
 
-// giveWay has the last that is next in line and not urgent give way to one that is, and says whether there was one.
-func (x *State) preemptFor(next []*Machine, to *Machine) bool {
-	if !x.Requests[to.Requests[0]].Urgent {
+// preemptFor has the last announced machine of the queue that is not urgent yield to one that is, and reports whether
+// there was one.
+func (x *State) preemptFor(urgent *Machine, queue []*Machine) bool {
+	if !x.firstRequest(urgent).Urgent {
 		return false
 	}
-	for _, i := range slices.Backward(next) {
-		if (i.Phase == Announced || i.Phase == Acknowledged) && !x.Requests[i.Requests[0]].Urgent {
-			x.setPhase(i, Requested)
+	for _, m := range slices.Backward(queue) {
+		if listOf(m.Phase) == listAnnounced && !x.firstRequest(m).Urgent {
+			x.setPhase(m, Requested)
 			return true
 		}
 	}
 	return false
 }
 
-// order returns the machines that are not out in their turn: urgent ones first, then by how many who asked has had, then by age.
-func (x *State) queue() (all []*Machine) {
-	for _, i := range x.Machines {
-		if i.Phase < Draining && len(i.Requests) > 0 {
-			all = append(all, i)
+func (x *State) firstRequest(m *Machine) *Request { return x.Requests[m.Requests[0]] }
+
+// queue returns the machines that are not out, in the order in which they are to go: urgent ones first, then those
+// whose requester has had the fewest machines out, then the oldest request.
+func (x *State) queue() []*Machine {
+	var queue []*Machine
+	for _, m := range x.Machines {
+		if m.Phase < Draining && len(m.Requests) > 0 {
+			queue = append(queue, m)
 		}
 	}
-	slices.SortFunc(all, func(a, b *Machine) int {
-		p, q := x.Requests[a.Requests[0]], x.Requests[b.Requests[0]]
-		urgent := func(j *Request) int { return map[bool]int{true: 0, false: 1}[j.Urgent] }
-		return cmp.Or(cmp.Compare(urgent(p), urgent(q)), cmp.Compare(x.DrainsByRequester[p.Requester], x.DrainsByRequester[q.Requester]), cmp.Compare(p.RequestedAt, q.RequestedAt), cmp.Compare(a.Name, b.Name))
-	})
-	return all
+	slices.SortFunc(queue, x.compareInQueue)
+	return queue
+}
+
+func (x *State) compareInQueue(a, b *Machine) int {
+	requestA := x.firstRequest(a)
+	requestB := x.firstRequest(b)
+	return cmp.Or(
+		cmp.Compare(urgencyRank(requestA), urgencyRank(requestB)),
+		cmp.Compare(x.DrainsByRequester[requestA.Requester], x.DrainsByRequester[requestB.Requester]),
+		cmp.Compare(requestA.RequestedAt, requestB.RequestedAt),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+func urgencyRank(request *Request) int {
+	if request.Urgent {
+		return 0
+	}
+	return 1
 }
--- a/internal/decide/maintenance/settings.go
+++ b/internal/decide/maintenance/settings.go
@@ -7,29 +7,36 @@
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+// The bounds that Settings.Check sets.
+const (
+	minLeaseDuration monotime.Micros = 10_000
+	largestDrift                     = 0.1
+)
 
-// Settings bound what may be out; all instances have the same.
+// Settings bound what may be out of service. All instances of a fleet have the same.
 type Settings struct {
-	MaxOut        int             // machines out at once, over all
-	MaxOutPerZone int             // of one zone, 0 is no bound of its own;
-	MaxOutPerCell int             // of one cell: one that is well stays in any case;
-	MaxOutPerKind int             // of one type
-	MaxAnnounced  int             // told ahead at most, those that are out not counted
-	Headroom      float64         // the part of what is left that must stay unused
-	LeaseDuration monotime.Micros // for so long an order holds at an instance
-	InFlightGrace monotime.Micros // so long after its lease an instance ends what it still has open at machines ahead or out
-	Warmup        monotime.Micros // so long after its return a machine counts as out
-	MaxClockDrift float64         // by what part of itself a clock's rate may be off, at most
+	MaxOut        int             // machines out at once
+	MaxOutPerZone int             // machines out at once in a zone; 0 is no such bound
+	MaxOutPerCell int             // machines out at once in a cell; 0 is no such bound, but one always stays
+	MaxOutPerKind int             // machines out at once of a machine type; 0 is no such bound
+	MaxAnnounced  int             // machines announced at once, those that are out not counted
+	Headroom      float64         // the part of the remaining capacity that must stay unused, in 0..1
+	LeaseDuration monotime.Micros // for how long a plan holds at an instance
+	InFlightGrace monotime.Micros // how long after its lease an instance ends what is in flight at such machines
+	Warmup        monotime.Micros // for how long a machine that returns still counts as out
+	MaxClockDrift float64         // by what part of itself a clock's rate may be off
 }
 
-// SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Reason string }
+// SettingError names a setting that is out of its range.
+type SettingError struct {
+	Key    string // in the settings' table of the deploy file
+	Reason string
+}
 
-// Error says which, and why.
+// Error returns the setting and the reason.
 func (e *SettingError) Error() string { return fmt.Sprintf("work: %s: %s", e.Key, e.Reason) }
 
-// Check returns a *SettingError of settings that make no sense.
+// Check returns a *SettingError for the first setting that is out of its range.
 func (s *Settings) Check() error {
 	switch {
 	case s.MaxOut < 1:
@@ -40,15 +47,15 @@
 		return &SettingError{"ahead", "must be most at least: what is out was ahead before"}
 	case !(s.Headroom >= 0 && s.Headroom < 1):
 		return &SettingError{"room", "must be in 0..1, not 1"}
-	case s.LeaseDuration < 10_000 || s.InFlightGrace < 0 || s.Warmup < 0:
+	case s.LeaseDuration < minLeaseDuration || s.InFlightGrace < 0 || s.Warmup < 0:
 		return &SettingError{"lease", "must be 10 ms at least, and no time negative"}
-	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= 0.1):
+	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= largestDrift):
 		return &SettingError{"drift", "must be in 0..0.1"}
 	}
 	return nil
 }
 
-// longer is how long one has to wait by the own clock for a time to have passed by any.
+// withDrift returns how long to wait by the own clock for a duration to have passed by any other clock.
 func (s *Settings) withDrift(d monotime.Micros) monotime.Micros {
 	return monotime.Micros(math.Ceil(float64(d) * (1 + s.MaxClockDrift) / (1 - s.MaxClockDrift)))
 }
--- a/internal/decide/maintenance/state.go
+++ b/internal/decide/maintenance/state.go
@@ -8,36 +8,45 @@
 	"dunlinsail/internal/monotime"
 )
 
-// eventsMost is how many events are kept.
+// maxEvents is how many events a State keeps; older ones are dropped.
 const maxEvents = 200
 
-// State is the order. Make one with New.
+// State is the replicated plan of which machines are out of service. Make one with NewState; Apply builds it from the
+// log. Its JSON is the content of a raft snapshot. The texts of events are part of it: replicas of two builds agree
+// only as long as they stay the same.
 type State struct {
 	settings          Settings
 	Now               monotime.Micros     `json:"Now"`
-	PlanVersion       uint64              `json:"Version"` // of what instances are told; it grows with each change of that
-	Requests          map[string]*Request `json:"Jobs"`
-	Machines          map[string]*Machine `json:"Items"` // by machine
-	Instances         map[string]uint64   `json:"Instances"`
+	PlanVersion       uint64              `json:"Version"`   // grows with each change of what Plan returns
+	Requests          map[string]*Request `json:"Jobs"`      // by id
+	Machines          map[string]*Machine `json:"Items"`     // by name
+	Instances         map[string]uint64   `json:"Instances"` // incarnations, by the instance's name
 	Fleet             FleetStatus         `json:"Facts"`
-	OnHold            bool                `json:"Held"`
+	OnHold            bool                `json:"Held"` // no further machine is drained
 	Events            []Event             `json:"Events"`
-	DrainsByRequester map[string]int      `json:"Taken"` // machines taken out so far, by who asked
-	CommandCount      uint64              `json:"Count"` // of commands
+	DrainsByRequester map[string]int      `json:"Taken"` // machines drained so far
+	CommandCount      uint64              `json:"Count"` // commands applied so far
 }
 
-// New returns an order in which nothing is out, or a *SettingError.
+// NewState returns a plan in which no machine is out, or a *SettingError.
 func NewState(s Settings) (*State, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	return &State{settings: s, Requests: map[string]*Request{}, Machines: map[string]*Machine{}, Instances: map[string]uint64{}, DrainsByRequester: map[string]int{}}, nil
+	return &State{
+		settings:          s,
+		Requests:          map[string]*Request{},
+		Machines:          map[string]*Machine{},
+		Instances:         map[string]uint64{},
+		DrainsByRequester: map[string]int{},
+	}, nil
 }
 
-// Restored has a state that was kept go by settings.
+// UseSettings sets the settings of a state that was decoded from a snapshot: they are no part of its stored form.
 func (x *State) UseSettings(s Settings) { x.settings = s }
 
-// Apply takes a command in, and returns what to tell who gave it, or the reason why nothing comes of it.
+// Apply applies the log's next command. It returns the answer to the operator whose command it is, or an error that
+// says why the command changes nothing; that error is an answer too, not a fault of the log.
 func (x *State) Apply(c Command) (answer string, err error) {
 	x.Now = max(x.Now, c.Time)
 	x.CommandCount++
@@ -59,61 +68,89 @@
 	case c.FleetStatus != nil:
 		x.Fleet = *c.FleetStatus
 	}
-	for _, name := range c.Acknowledged {
-		if i := x.Machines[name]; i != nil && i.Phase == Announced {
-			x.setPhase(i, Acknowledged)
+	x.applyProgress(c.Acknowledged, c.Drained)
+	x.advance()
+	return answer, err
+}
+
+// applyProgress has machines enter the next phase that instances have come to by what the leader found.
+func (x *State) applyProgress(acknowledged, drained []string) {
+	for _, name := range acknowledged {
+		if m := x.Machines[name]; m != nil && m.Phase == Announced {
+			x.setPhase(m, Acknowledged)
 		}
 	}
-	for _, name := range c.Drained {
-		if i := x.Machines[name]; i != nil && i.Phase == Draining {
-			x.setPhase(i, UnderMaintenance)
-			i.DueAt = x.Now + x.longestDuration(i)
-			x.recordEvent("%s is free: nobody sends there and nothing is open; it is to be done in %d s", name, (i.DueAt-x.Now)/second)
+	for _, name := range drained {
+		m := x.Machines[name]
+		if m == nil || m.Phase != Draining {
+			continue
 		}
+		x.setPhase(m, UnderMaintenance)
+		m.DueAt = x.Now + x.longestDuration(m)
+		x.recordEvent("%s is free: nobody sends there and nothing is open; it is to be done in %d s",
+			name, (m.DueAt-x.Now)/monotime.Second)
 	}
-	x.advance()
-	return answer, err
 }
 
-func (x *State) recordEvent(format string, args ...any) {
-	x.Events = append(x.Events, Event{x.Now, fmt.Sprintf(format, args...)})
-	if over := len(x.Events) - maxEvents; over > 0 {
-		x.Events = slices.Delete(x.Events, 0, over)
+// Plan returns the plan that instances are to apply.
+func (x *State) Plan() Plan {
+	plan := Plan{Version: x.PlanVersion}
+	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
+		switch listOf(x.Machines[name].Phase) {
+		case listAnnounced:
+			plan.Announced = append(plan.Announced, name)
+		case listExcluded:
+			plan.Excluded = append(plan.Excluded, name)
+		}
 	}
+	return plan
 }
 
-// enter has a machine go on to another phase.
-func (x *State) setPhase(i *Machine, p Phase) {
-	told := func(p Phase) int {
-		return map[Phase]int{Announced: 1, Acknowledged: 1, Draining: 2, UnderMaintenance: 2}[p]
+// planList is the list of a Plan that a machine stands in.
+type planList int
+
+const (
+	listNone planList = iota
+	listAnnounced
+	listExcluded
+)
+
+func listOf(p Phase) planList {
+	switch p {
+	case Announced, Acknowledged:
+		return listAnnounced
+	case Draining, UnderMaintenance:
+		return listExcluded
 	}
-	if told(i.Phase) != told(p) {
+	return listNone
+}
+
+// setPhase has a machine enter a phase. Where that moves it to another list of the plan, the plan gets a new version.
+func (x *State) setPhase(m *Machine, p Phase) {
+	if listOf(m.Phase) != listOf(p) {
 		x.PlanVersion++
-		i.PlanVersion = x.PlanVersion
+		m.PlanVersion = x.PlanVersion
 	}
-	i.Phase, i.Since, i.WaitReason, i.RecallReason, i.Overdue = p, x.Now, "", "", false
+	m.Phase = p
+	m.Since = x.Now
+	m.WaitReason = ""
+	m.RecallReason = ""
+	m.Overdue = false
 }
 
-// longest is for how long a machine is wanted out at most.
-func (x *State) longestDuration(i *Machine) (d monotime.Micros) {
-	for _, id := range i.Requests {
-		if j := x.Requests[id]; j != nil {
-			d = max(d, j.Duration)
+// longestDuration returns the longest time for which one of a machine's requests needs it out.
+func (x *State) longestDuration(m *Machine) (longest monotime.Micros) {
+	for _, id := range m.Requests {
+		if request := x.Requests[id]; request != nil {
+			longest = max(longest, request.Duration)
 		}
 	}
-	return d
+	return longest
 }
 
-// Order returns it.
-func (x *State) Plan() Plan {
-	o := Plan{Version: x.PlanVersion}
-	for _, name := range slices.Sorted(maps.Keys(x.Machines)) {
-		switch x.Machines[name].Phase {
-		case Announced, Acknowledged:
-			o.Announced = append(o.Announced, name)
-		case Draining, UnderMaintenance:
-			o.Excluded = append(o.Excluded, name)
-		}
+func (x *State) recordEvent(format string, args ...any) {
+	x.Events = append(x.Events, Event{Time: x.Now, Text: fmt.Sprintf(format, args...)})
+	if surplus := len(x.Events) - maxEvents; surplus > 0 {
+		x.Events = slices.Delete(x.Events, 0, surplus)
 	}
-	return o
 }
--- a/internal/decide/maintenance/state_test.go
+++ b/internal/decide/maintenance/state_test.go
@@ -12,250 +12,320 @@
 	"dunlinsail/internal/monotime"
 )
 
-var bounds = Settings{MaxOut: 2, MaxOutPerZone: 1, MaxOutPerCell: 1, MaxAnnounced: 4, Headroom: 0.1, LeaseDuration: second, InFlightGrace: second, Warmup: 2 * second}
+var testSettings = Settings{
+	MaxOut: 2, MaxOutPerZone: 1, MaxOutPerCell: 1, MaxAnnounced: 4, Headroom: 0.1,
+	LeaseDuration: monotime.Second, InFlightGrace: monotime.Second, Warmup: 2 * monotime.Second,
+}
 
-// facts are of so many machines in four zones, two to a cell.
-func facts(n int, use float64) *FleetStatus {
-	f := &FleetStatus{Usage: use, PeakUsage: use}
-	for i := range n {
-		f.Machines = append(f.Machines, MachineStatus{Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4), Kind: "k", Cell: i / 2, Capacity: 1, Healthy: true})
+// eightMachines returns the status of eight healthy machines in four zones, two to a cell, of which so much capacity
+// is in use.
+func eightMachines(usage float64) *FleetStatus {
+	status := &FleetStatus{Usage: usage, PeakUsage: usage}
+	for i := range 8 {
+		status.Machines = append(status.Machines, MachineStatus{
+			Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4), Kind: "k", Cell: i / 2, Capacity: 1, Healthy: true,
+		})
 	}
-	return f
+	return status
 }
 
-func order(t testing.TB, f *FleetStatus, jobs ...Request) *State {
+// stateWith returns a state to which a fleet's status and requests have been applied, a microsecond after one another.
+func stateWith(t testing.TB, status *FleetStatus, requests ...Request) *State {
 	t.Helper()
-	x, err := NewState(bounds)
+	x, err := NewState(testSettings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.Apply(Command{FleetStatus: f})
-	for i := range jobs {
-		if jobs[i].Duration == 0 {
-			jobs[i].Duration = 60 * second
+	x.Apply(Command{FleetStatus: status})
+	for i := range requests {
+		if requests[i].Duration == 0 {
+			requests[i].Duration = 60 * monotime.Second
 		}
-		if _, err := x.Apply(Command{Time: monotime.Micros(i + 1), Request: &jobs[i]}); err != nil {
+		if _, err := x.Apply(Command{Time: monotime.Micros(i + 1), Request: &requests[i]}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	return x
 }
 
-// known has all that is ahead be known, again and again, as long as something comes of it.
-func known(x *State) {
-	for v := ^uint64(0); v != x.PlanVersion; {
-		v = x.PlanVersion
+// acknowledge has all that is announced be acknowledged, again and again, as long as something comes of it.
+func acknowledge(x *State) {
+	for version := ^uint64(0); version != x.PlanVersion; {
+		version = x.PlanVersion
 		x.Apply(Command{Acknowledged: x.Plan().Announced})
 	}
 }
 
-func in(x *State, p Phase) (names string) {
-	for _, i := range x.Machines {
-		if i.Phase == p {
-			names += i.Name
+// machinesIn returns the names of the machines in a phase, in order and joined.
+func machinesIn(x *State, phase Phase) string {
+	var names []string
+	for _, m := range x.Machines {
+		if m.Phase == phase {
+			names = append(names, m.Name)
 		}
 	}
-	all := strings.Split(names, "m")
-	slices.Sort(all)
-	return strings.Join(all, "m")
+	slices.Sort(names)
+	return strings.Join(names, "")
 }
 
-// What is taken out is within each bound, and the reason is said for what waits.
-func TestBounds(t *testing.T) {
+// What is drained is within each bound, and what waits has its reason.
+func TestDrainsAreWithinTheBounds(t *testing.T) {
 	all := []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
 	for _, c := range []struct {
-		name   string
-		change func(f *FleetStatus)
-		out    string // drained at first
-		waits  string // of one that is not
+		name       string
+		change     func(status *FleetStatus)
+		drained    string // at first
+		waitReason string // of one that is not
 	}{
-		{"two of eight, of zones and cells of their own", func(*FleetStatus) {}, "m0m2", "2 are out, 2 may be"},
-		{"one is down already", func(f *FleetStatus) { f.Machines[7].Healthy = false }, "m0", "are out"},
-		{"the other of its cell is down", func(f *FleetStatus) { f.Machines[0].Healthy = false }, "m0m2", "2 are out"},
-		{"what is left would not do", func(f *FleetStatus) { f.Usage = 5.5 }, "m0", "would not do"},
-		{"the hour ahead is busy", func(f *FleetStatus) { f.PeakUsage = 7 }, "", "would not do"},
-		{"a zone is lost", func(f *FleetStatus) { f.Machines[3].Healthy, f.Machines[7].Healthy = false, false }, "", "zone z3"},
+		{
+			name:    "two of eight, of zones and cells of their own",
+			change:  func(*FleetStatus) {},
+			drained: "m0m2", waitReason: "2 are out, 2 may be",
+		}, {
+			name:    "one is down already",
+			change:  func(s *FleetStatus) { s.Machines[7].Healthy = false },
+			drained: "m0", waitReason: "are out",
+		}, {
+			name:    "the other of its cell is down",
+			change:  func(s *FleetStatus) { s.Machines[0].Healthy = false },
+			drained: "m0m2", waitReason: "2 are out",
+		}, {
+			name:    "the remaining capacity would not do",
+			change:  func(s *FleetStatus) { s.Usage = 5.5 },
+			drained: "m0", waitReason: "would not do",
+		}, {
+			name:    "the hour ahead is busy",
+			change:  func(s *FleetStatus) { s.PeakUsage = 7 },
+			drained: "", waitReason: "would not do",
+		}, {
+			name: "a zone is lost",
+			change: func(s *FleetStatus) {
+				s.Machines[3].Healthy = false
+				s.Machines[7].Healthy = false
+			},
+			drained: "", waitReason: "zone z3",
+		},
 	} {
-		f := facts(8, 2)
-		c.change(f)
-		x := order(t, f, Request{ID: "a", Machines: all, Requester: "ana"})
+		status := eightMachines(2)
+		c.change(status)
+		x := stateWith(t, status, Request{ID: "a", Machines: all, Requester: "ana"})
 		for range 3 {
-			known(x)
+			acknowledge(x)
 		}
-		if got := in(x, Draining); got != c.out {
-			t.Errorf("%s: %q are drained, not %q", c.name, got, c.out)
+		if got := machinesIn(x, Draining); got != c.drained {
+			t.Errorf("%s: %q are drained, not %q", c.name, got, c.drained)
 		}
 		found := false
-		for _, i := range x.Machines {
-			found = found || strings.Contains(i.WaitReason, c.waits)
+		for _, m := range x.Machines {
+			found = found || strings.Contains(m.WaitReason, c.waitReason)
 		}
 		if !found {
-			t.Errorf("%s: nobody is said to wait for %q: %v", c.name, c.waits, x.Machines["m1"])
+			t.Errorf("%s: no machine waits for %q: %v", c.name, c.waitReason, x.Machines["m1"])
 		}
 	}
 }
 
-// Urgent work goes first, then who has had least, then who has waited longest.
-func TestTurns(t *testing.T) {
-	x := order(t, facts(8, 1), Request{ID: "a", Machines: []string{"m0", "m2", "m4"}, Requester: "ana"}, Request{ID: "b", Machines: []string{"m6"}, Requester: "ben"},
+// Urgent machines are drained first, then those of the requester with the fewest drains, then those of the oldest
+// request.
+func TestMachinesAreDrainedInQueueOrder(t *testing.T) {
+	x := stateWith(t, eightMachines(1),
+		Request{ID: "a", Machines: []string{"m0", "m2", "m4"}, Requester: "ana"},
+		Request{ID: "b", Machines: []string{"m6"}, Requester: "ben"},
 		Request{ID: "c", Machines: []string{"m5"}, Requester: "ana", Urgent: true})
 	x.settings.MaxOut = 1
-	var got []string
+	var drained []string
 	for len(x.Machines) > 0 {
-		known(x)
-		name := in(x, Draining)
-		got = append(got, name)
+		acknowledge(x)
+		name := machinesIn(x, Draining)
+		drained = append(drained, name)
 		x.Apply(Command{Drained: []string{name}})
 		x.Apply(Command{Complete: &Completion{Request: x.Machines[name].Requests[0], Machine: name}})
-		x.Apply(Command{Time: x.Now + 3*second})
+		x.Apply(Command{Time: x.Now + 3*monotime.Second})
 	}
-	if fmt.Sprint(got) != "[m5 m6 m0 m2 m4]" {
-		t.Errorf("%v", got)
+	if fmt.Sprint(drained) != "[m5 m6 m0 m2 m4]" {
+		t.Errorf("%v", drained)
 	}
 }
 
-// Two who ask for the same have it out until both are done; asking twice is asking once.
-func TestTwoAskers(t *testing.T) {
-	x := order(t, facts(8, 1), Request{ID: "a", Machines: []string{"m0"}, Requester: "ana"}, Request{ID: "b", Machines: []string{"m0"}, Requester: "ben", Duration: 90 * second},
+// A machine of two requests is out until both are complete; a request that comes twice counts once.
+func TestMachineOfTwoRequestsIsOutUntilBothAreComplete(t *testing.T) {
+	x := stateWith(t, eightMachines(1),
+		Request{ID: "a", Machines: []string{"m0"}, Requester: "ana"},
+		Request{ID: "b", Machines: []string{"m0"}, Requester: "ben", Duration: 90 * monotime.Second},
 		Request{ID: "a", Machines: []string{"m0", "m1"}, Requester: "ana"})
 	if len(x.Requests) != 2 || len(x.Machines) != 1 {
-		t.Fatalf("%d jobs, %d machines", len(x.Requests), len(x.Machines))
+		t.Fatalf("%d requests, %d machines", len(x.Requests), len(x.Machines))
 	}
-	known(x)
+	acknowledge(x)
 	x.Apply(Command{Drained: []string{"m0"}})
-	if i := x.Machines["m0"]; i.Phase != UnderMaintenance || i.DueAt != x.Now+90*second {
-		t.Fatalf("%+v", i)
+	if m := x.Machines["m0"]; m.Phase != UnderMaintenance || m.DueAt != x.Now+90*monotime.Second {
+		t.Fatalf("%+v", m)
 	}
 	x.Apply(Command{Complete: &Completion{Request: "a"}})
 	if x.Machines["m0"].Phase != UnderMaintenance || x.Requests["a"] != nil {
-		t.Error("one of two is done, and it returns")
+		t.Error("one of two requests is complete, and the machine returns")
 	}
 	x.Apply(Command{Complete: &Completion{Request: "b"}})
 	if x.Machines["m0"].Phase != Returning {
-		t.Error("both are done, and it does not return")
+		t.Error("both requests are complete, and the machine does not return")
 	}
 }
 
-// Cancelled at each step: what was worked on returns cold, what was not stays in; nothing is left.
-func TestCancel(t *testing.T) {
+// A request is cancelled in each phase: a machine under maintenance returns and warms up, any other stays in; nothing
+// is left.
+func TestCancelInEachPhase(t *testing.T) {
 	for step := range 5 {
-		x := order(t, facts(8, 1), Request{ID: "a", Machines: []string{"m0"}, Requester: "ana"})
+		x := stateWith(t, eightMachines(1), Request{ID: "a", Machines: []string{"m0"}, Requester: "ana"})
 		if step > 0 {
-			known(x)
+			acknowledge(x)
 		}
 		if step > 1 {
 			x.Apply(Command{Drained: []string{"m0"}})
 		}
 		if step > 2 {
-			x.Apply(Command{Time: x.Now + 2*60*second})
+			x.Apply(Command{Time: x.Now + 2*60*monotime.Second})
 			if !x.Machines["m0"].Overdue {
-				t.Error("its time is over, and nobody is told")
+				t.Error("its time is over, and it is not overdue")
 			}
 		}
 		x.Apply(Command{CancelRequest: "a"})
-		if i := x.Machines["m0"]; (i != nil) != (step > 1) || i != nil && i.Phase != Returning {
-			t.Errorf("step %d: %+v", step, i)
+		if m := x.Machines["m0"]; (m != nil) != (step > 1) || m != nil && m.Phase != Returning {
+			t.Errorf("step %d: %+v", step, m)
 		}
-		if step > 3 { // it comes back, and is not well for a while
-			f := facts(8, 1)
-			f.Machines[0].Healthy = false
-			x.Apply(Command{FleetStatus: f})
-			x.Apply(Command{Time: x.Now + 10*second})
-			if i := x.Machines["m0"]; i == nil || !strings.Contains(i.WaitReason, "not well") {
-				t.Errorf("%+v", i)
+		if step > 3 { // it returns, and is not healthy for a while
+			status := eightMachines(1)
+			status.Machines[0].Healthy = false
+			x.Apply(Command{FleetStatus: status})
+			x.Apply(Command{Time: x.Now + 10*monotime.Second})
+			if m := x.Machines["m0"]; m == nil || !strings.Contains(m.WaitReason, "not well") {
+				t.Errorf("%+v", m)
 			}
-			x.Apply(Command{FleetStatus: facts(8, 1)})
+			x.Apply(Command{FleetStatus: eightMachines(1)})
 		}
-		x.Apply(Command{Time: x.Now + 3*second})
-		if len(x.Machines) != 0 || len(x.Requests) != 0 || len(x.Plan().Excluded)+len(x.Plan().Announced) != 0 {
-			t.Errorf("step %d: %d machines and %d jobs are left", step, len(x.Machines), len(x.Requests))
+		x.Apply(Command{Time: x.Now + 3*monotime.Second})
+		plan := x.Plan()
+		if len(x.Machines) != 0 || len(x.Requests) != 0 || len(plan.Excluded)+len(plan.Announced) != 0 {
+			t.Errorf("step %d: %d machines and %d requests are left", step, len(x.Machines), len(x.Requests))
 		}
 	}
 }
 
-// What can no longer be spared stays in if it only drains, and is wanted back if it is at work.
-func TestRecall(t *testing.T) {
-	x := order(t, facts(8, 1), Request{ID: "a", Machines: []string{"m0", "m2"}, Requester: "ana"})
-	known(x)
+// Capacity that is needed back stays in service if it only drains, and is recalled if it is under maintenance.
+func TestCapacityThatIsNeededBackIsRecalled(t *testing.T) {
+	x := stateWith(t, eightMachines(1), Request{ID: "a", Machines: []string{"m0", "m2"}, Requester: "ana"})
+	acknowledge(x)
 	x.Apply(Command{Drained: []string{"m0"}})
-	x.Apply(Command{FleetStatus: facts(8, 7)})
-	if in(x, Draining) != "" || x.Machines["m2"].Phase != Acknowledged || x.Machines["m0"].RecallReason == "" {
+	x.Apply(Command{FleetStatus: eightMachines(7)})
+	if machinesIn(x, Draining) != "" || x.Machines["m2"].Phase != Acknowledged || x.Machines["m0"].RecallReason == "" {
 		t.Errorf("%+v %+v", x.Machines["m0"], x.Machines["m2"])
 	}
-	x.Apply(Command{FleetStatus: facts(8, 1)})
+	x.Apply(Command{FleetStatus: eightMachines(1)})
 	if x.Machines["m0"].RecallReason != "" || x.Machines["m2"].Phase != Draining {
 		t.Errorf("%+v %+v", x.Machines["m0"], x.Machines["m2"])
 	}
 	x.Apply(Command{Hold: &Hold{On: true}})
 	x.Apply(Command{Drained: []string{"m2"}})
-	x.Apply(Command{Request: &Request{ID: "b", Machines: []string{"m4"}, Duration: second, Requester: "ben"}})
+	x.Apply(Command{Request: &Request{ID: "b", Machines: []string{"m4"}, Duration: monotime.Second, Requester: "ben"}})
 	x.Apply(Command{Complete: &Completion{Request: "a"}})
-	x.Apply(Command{Time: x.Now + 10*second})
-	known(x)
+	x.Apply(Command{Time: x.Now + 10*monotime.Second})
+	acknowledge(x)
 	if x.Machines["m4"].Phase != Acknowledged || x.Machines["m4"].WaitReason != "all is held" {
 		t.Errorf("%+v", x.Machines["m4"])
 	}
 }
 
-// Whatever the log holds: bounds hold, no version is told twice for other orders, and a state that was kept goes on as one that was not.
-func TestAnyLog(t *testing.T) {
+// Whatever the log holds: bounds hold, each version of the plan has one content, and a state that was stored and
+// restored goes on as one that was not.
+func TestInvariantsHoldForAnyLog(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		x, y := order(t, facts(8, 1)), order(t, facts(8, 1))
-		told := map[uint64]string{}
+		direct := stateWith(t, eightMachines(1))
+		restored := stateWith(t, eightMachines(1))
+		plans := map[uint64]string{} // by version
 		var now monotime.Micros
-		name := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"})
-		job := rapid.SampledFrom([]string{"a", "b", "c"})
 		for range rapid.IntRange(1, 60).Draw(r, "entries") {
-			now += rapid.Int64Range(0, 5*second).Draw(r, "later")
-			c := Command{Time: now}
-			switch rapid.IntRange(0, 8).Draw(r, "what") {
-			case 0, 1:
-				c.Request = &Request{ID: job.Draw(r, "job"), Machines: rapid.SliceOfN(name, 1, 4).Draw(r, "machines"), Duration: second, Requester: "x", Urgent: rapid.Bool().Draw(r, "urgent")}
-			case 2:
-				c.CancelRequest = job.Draw(r, "job")
-			case 3:
-				c.Complete = &Completion{Request: job.Draw(r, "job")}
-			case 4:
-				c.FleetStatus = facts(8, float64(rapid.IntRange(0, 8).Draw(r, "use")))
-			case 5, 6:
-				c.Acknowledged = []string{name.Draw(r, "known")}
-			case 7:
-				c.Drained = []string{name.Draw(r, "free")}
-			case 8:
-				c.Hold = &Hold{Request: rapid.SampledFrom([]string{"", "a"}).Draw(r, "of"), On: rapid.Bool().Draw(r, "on")}
-			}
-			x.Apply(c)
-			y.Apply(c)
-			text, err := json.Marshal(y)
-			z, _ := NewState(bounds)
-			if err != nil || json.Unmarshal(text, z) != nil {
-				r.Fatal(err)
-			}
-			z.UseSettings(bounds)
-			y = z
-			if a, b := fmt.Sprint(x.Plan(), x.Events), fmt.Sprint(y.Plan(), y.Events); a != b {
-				r.Fatalf("%s\nand kept and restored\n%s", a, b)
-			}
-			o := x.Plan()
-			key := fmt.Sprint(o.Announced, o.Excluded)
-			if was, ok := told[o.Version]; ok && was != key {
-				r.Fatalf("version %d is %s and %s", o.Version, was, key)
-			}
-			told[o.Version] = key
-			zones := map[string]int{}
-			for _, i := range x.Machines {
-				if i.Phase == Draining || i.Phase == UnderMaintenance {
-					zones[x.Fleet.Machines[slices.IndexFunc(x.Fleet.Machines, func(m MachineStatus) bool { return m.Name == i.Name })].Zone]++
-				}
-			}
-			if len(o.Excluded) > bounds.MaxOut || len(o.Announced) > bounds.MaxAnnounced {
-				r.Fatalf("%v", o)
-			}
-			for zone, n := range zones {
-				if n > bounds.MaxOutPerZone {
-					r.Fatalf("%d of zone %s", n, zone)
-				}
+			now += rapid.Int64Range(0, 5*monotime.Second).Draw(r, "later")
+			c := anyCommand(r)
+			c.Time = now
+			direct.Apply(c)
+			restored.Apply(c)
+			restored = storeAndRestore(r, restored)
+			want := fmt.Sprint(direct.Plan(), direct.Events)
+			if got := fmt.Sprint(restored.Plan(), restored.Events); got != want {
+				r.Fatalf("%s\nand stored and restored\n%s", want, got)
 			}
+			checkPlan(r, direct, plans)
 		}
 	})
 }
+
+// anyCommand draws a command, without its time.
+func anyCommand(r *rapid.T) (c Command) {
+	name := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"})
+	id := rapid.SampledFrom([]string{"a", "b", "c"})
+	switch rapid.IntRange(0, 8).Draw(r, "command") {
+	case 0, 1:
+		c.Request = &Request{
+			ID:        id.Draw(r, "id"),
+			Machines:  rapid.SliceOfN(name, 1, 4).Draw(r, "machines"),
+			Duration:  monotime.Second,
+			Requester: "x",
+			Urgent:    rapid.Bool().Draw(r, "urgent"),
+		}
+	case 2:
+		c.CancelRequest = id.Draw(r, "id")
+	case 3:
+		c.Complete = &Completion{Request: id.Draw(r, "id")}
+	case 4:
+		c.FleetStatus = eightMachines(float64(rapid.IntRange(0, 8).Draw(r, "usage")))
+	case 5, 6:
+		c.Acknowledged = []string{name.Draw(r, "acknowledged")}
+	case 7:
+		c.Drained = []string{name.Draw(r, "drained")}
+	case 8:
+		c.Hold = &Hold{
+			Request: rapid.SampledFrom([]string{"", "a"}).Draw(r, "request"),
+			On:      rapid.Bool().Draw(r, "on"),
+		}
+	}
+	return c
+}
+
+func storeAndRestore(r *rapid.T, x *State) *State {
+	stored, err := json.Marshal(x)
+	if err != nil {
+		r.Fatal(err)
+	}
+	restored, err := NewState(testSettings)
+	if err != nil {
+		r.Fatal(err)
+	}
+	if err := json.Unmarshal(stored, restored); err != nil {
+		r.Fatal(err)
+	}
+	restored.UseSettings(testSettings)
+	return restored
+}
+
+// checkPlan checks the bounds, and that a version of the plan that was seen before has the content that it had.
+func checkPlan(r *rapid.T, x *State, plans map[uint64]string) {
+	plan := x.Plan()
+	content := fmt.Sprint(plan.Announced, plan.Excluded)
+	if earlier, ok := plans[plan.Version]; ok && earlier != content {
+		r.Fatalf("version %d is %s and %s", plan.Version, earlier, content)
+	}
+	plans[plan.Version] = content
+	if len(plan.Excluded) > testSettings.MaxOut || len(plan.Announced) > testSettings.MaxAnnounced {
+		r.Fatalf("%v", plan)
+	}
+	outOfZone := map[string]int{}
+	for _, m := range x.Machines {
+		if m.Phase == Draining || m.Phase == UnderMaintenance {
+			outOfZone[x.Fleet.Machines[x.Fleet.index(m.Name)].Zone]++
+		}
+	}
+	for zone, count := range outOfZone {
+		if count > testSettings.MaxOutPerZone {
+			r.Fatalf("%d of zone %s", count, zone)
+		}
+	}
+}
