Errors that were dropped in the frontend, http1msg, upstream and accesslog are named

The linter is to be clean. What can't be acted on is assigned to the blank identifier with the reason; a RawConn that is closed is told apart from one with nothing to read, with the same result as before. Front.tenant, which nothing called, goes.

--- a/internal/accesslog/recording.go
+++ b/internal/accesslog/recording.go
@@ -157,7 +157,7 @@
 		}
 	}
 	r := parquet.NewGenericReader[Row](file)
-	defer r.Close()
+	defer func() { _ = r.Close() }() // nothing of what was read depends on it
 	if n := r.NumRows(); n < 0 || n > size*1000 {
 		return nil, nil, fmt.Errorf("says that it has %d rows", n)
 	}
--- a/internal/frontend/http1/conns.go
+++ b/internal/frontend/http1/conns.go
@@ -124,7 +124,7 @@
 		return
 	}
 	for end := time.Now().Add(restMost); time.Now().Before(end); {
-		bounded.SetDeadline(time.Now().Add(restWait)) // what waits is taken without waiting
+		_ = bounded.SetDeadline(time.Now().Add(restWait)) // what waits is taken without waiting
 		nc, err := ln.Accept()
 		switch {
 		case err == nil:
@@ -147,9 +147,9 @@
 		return false
 	}
 	some := false
-	raw.Control(func(fd uintptr) {
-		some = polled(fd, pollIn) != 0
-	})
+	if err := raw.Control(func(fd uintptr) { some = polled(fd, pollIn) != 0 }); err != nil {
+		return false // closed
+	}
 	return some
 }
 
@@ -432,10 +432,10 @@
 // away from the client.
 func (c *conn) linger() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
+		_ = half.CloseWrite() // it may be closed already
 	}
 	c.SetReadDeadline(time.Now().Add(lingerTime))
-	io.CopyN(io.Discard, c.Conn, lingerMost)
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerMost) // until its end, or the deadline
 }
 
 // response is a final answer as it goes to the client.
@@ -462,7 +462,7 @@
 	var b bytes.Buffer
 	b.Grow(256 + len(r.body))
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.code) + " " + http.StatusText(r.code) + "\r\n")
-	r.header.Write(&b) // writing to memory does not fail
+	_ = r.header.Write(&b) // writing to memory does not fail
 	b.WriteString("Content-Length: " + strconv.Itoa(len(r.body)) + "\r\n")
 	if last {
 		b.WriteString("Connection: close\r\n")
--- a/internal/frontend/http1/conns_test.go
+++ b/internal/frontend/http1/conns_test.go
@@ -39,7 +39,8 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	go k.accept(ln, func(net.Conn) (*Client, func(), error) { return owner, nil, nil })
+	var identify Identify = func(net.Conn) (*Client, func(), error) { return owner, nil, nil }
+	go func() { _ = k.accept(ln, identify) }()
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -99,7 +100,7 @@
 				}
 				step <- c
 				if tc.again {
-					c.in.Read(make([]byte, 1))
+					_, _ = c.in.Read(make([]byte, 1)) // until the client has gone
 				}
 				<-over
 			}, scriptedpeer.Quiet)
@@ -113,7 +114,7 @@
 			}
 			defer ln.Close()
 			defer close(over)
-			identify := func(net.Conn) (*Client, func(), error) { return owner, nil, nil }
+			var identify Identify = func(net.Conn) (*Client, func(), error) { return owner, nil, nil }
 			enter := func() net.Conn {
 				client, err := net.Dial("tcp", ln.Addr().String())
 				if err != nil {
--- a/internal/frontend/http1/head.go
+++ b/internal/frontend/http1/head.go
@@ -58,6 +58,6 @@
 		readers.Put(c.r)
 	}
 	c.r = bufio.NewReaderSize(io.MultiReader(begun, &c.limit), HeaderMost)
-	c.r.Peek(begun.Len()) // it is all there
+	_, _ = c.r.Peek(begun.Len()) // it is all there
 	return c.r
 }
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -10,10 +10,8 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -283,14 +281,6 @@
 	return v != "" && !strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
 }
 
-// tenant returns the tenant's place in the settings, or one past all places.
-func (f *Front) tenant(r *http.Request) uint16 {
-	if i := slices.Index(f.o.Site.Tenants, r.Header.Get("X-Customer")); i >= 0 {
-		return uint16(i)
-	}
-	return math.MaxUint16
-}
-
 // key turns what a request is about into a number; 0 is none.
 func key(object string) uint64 {
 	if object == "" {
@@ -300,6 +290,6 @@
 		return v
 	}
 	h := fnv.New64a()
-	io.WriteString(h, object)
+	_, _ = io.WriteString(h, object) // a hash does not fail
 	return h.Sum64()
 }
--- a/internal/frontend/http1/inlet.go
+++ b/internal/frontend/http1/inlet.go
@@ -108,10 +108,10 @@
 		return true
 	}
 	some := false
-	in.raw.Control(func(fd uintptr) {
+	err := in.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		some = err == nil && n > 0
 	})
-	return !some
+	return err != nil || !some
 }
--- a/internal/frontend/http1/record.go
+++ b/internal/frontend/http1/record.go
@@ -1,8 +1,6 @@
 package http1
 
 import (
-	"net/http"
-
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/monotime"
@@ -26,7 +24,7 @@
 }
 
 // taken begins what is told of a request, nil if nobody is.
-func (f *Front) taken(c *conn, q *http.Request, k *core.Call, route, key, object string, in int64) *Exchange {
+func (f *Front) taken(c *conn, k *core.Call, route, key, object string, in int64) *Exchange {
 	if f.o.Record == nil {
 		return nil
 	}
--- a/internal/frontend/http1/watch.go
+++ b/internal/frontend/http1/watch.go
@@ -115,7 +115,8 @@
 		return false
 	}
 	left := false
-	in.raw.Control(func(fd uintptr) {
+	// A connection that is closed already calls nothing, and has not been ended by the other side.
+	_ = in.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/frontend/http1/whole.go
+++ b/internal/frontend/http1/whole.go
@@ -105,7 +105,7 @@
 	} else if out.Stream != nil {
 		in = -1
 	}
-	w.noted = f.taken(c, q, k, rt.Name, rt.Key.of(c, q, path), rt.Object.of(c, q, path), in)
+	w.noted = f.taken(c, k, rt.Name, rt.Key.of(c, q, path), rt.Object.of(c, q, path), in)
 	return w.submit(k, out)
 }
 
@@ -146,7 +146,7 @@
 	c := w.c
 	if expect := w.q.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
 		if framing.Kind != http1msg.Empty && w.q.ProtoAtLeast(1, 1) {
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
 		}
 	} else if expect != "" {
 		return bad(http.StatusExpectationFailed, "Expect makes no sense")
--- a/internal/http1msg/body.go
+++ b/internal/http1msg/body.go
@@ -206,7 +206,7 @@
 			}
 		case chunkTrailer:
 			if len(line) == 0 {
-				b.r.Discard(len(crlf))
+				_, _ = b.r.Discard(len(crlf)) // line has them in the buffer
 				b.done = true
 				return nil
 			}
@@ -217,7 +217,7 @@
 				return err
 			}
 		}
-		b.r.Discard(len(line) + len(crlf))
+		_, _ = b.r.Discard(len(line) + len(crlf)) // line has them in the buffer
 	}
 	return nil
 }
@@ -287,7 +287,7 @@
 	b = append(b, "0\r\n"...)
 	if len(trailer) > 0 {
 		var text bytes.Buffer
-		trailer.Write(&text) // writing to memory does not fail
+		_ = trailer.Write(&text) // writing to memory does not fail
 		b = append(b, text.Bytes()...)
 	}
 	return append(b, crlf...)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -264,7 +264,7 @@
 	b := &bytes.Buffer{}
 	b.Grow(512 + len(m.Body))
 	b.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
-	m.Header.Write(b) // writing to memory does not fail
+	_ = m.Header.Write(b) // writing to memory does not fail
 	if leftMs > 0 && deadline != "" {
 		b.WriteString(deadline + ": " + strconv.FormatInt(leftMs, 10) + "\r\n")
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -54,10 +54,10 @@
 func (p *Pool) at(addr string) *Target { return p.Target(addr).(*Target) }
 
 // try makes one attempt with a second of time.
-func (u *Pool) try(m *Message, to core.Target) engine.Reply {
+func (p *Pool) try(m *Message, to core.Target) engine.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
-	return u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, m)
+	return p.Send(ctx, &core.Try{To: to, Deadline: p.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, m)
 }
 
 func keyed(body string) *Message {
@@ -468,7 +468,9 @@
 	}
 	// One that is refused gives its place back.
 	u.o.Most = 3
-	u.Get(ctx, u.at(scriptedpeer.Nowhere(t)))
+	if _, err := u.Get(ctx, u.at(scriptedpeer.Nowhere(t))); err == nil {
+		t.Error("a connection to nobody")
+	}
 	if u.conns != 2 {
 		t.Errorf("%d connections counted after one refused, want 2", u.conns)
 	}
