--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -88,7 +88,7 @@
 		if in.pool, err = in.core.NewPool(c); err != nil {
 			return Result{}, err
 		}
-		if in.client, err = engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1}); err != nil {
+		if in.client, err = engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1}); err != nil {
 			return Result{}, err
 		}
 		all.Go(func() { in.core.Run(beside) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -176,8 +176,8 @@
 }
 
 // Share returns the bounds as the decisions between clients take them.
-func (b *Bounds) Share(name string) fairqueue.Spec {
-	s := fairqueue.Spec{Name: name, Weight: b.Weight, Open: b.Open, Rate: b.Rate, Burst: b.Burst}
+func (b *Bounds) Share(name string) fairqueue.ClientSpec {
+	s := fairqueue.ClientSpec{Name: name, Weight: b.Weight, MaxOpen: b.Open, Rate: b.Rate, Burst: b.Burst}
 	if s.Rate > 0 && s.Burst == 0 {
 		s.Burst = max(1, s.Rate/10)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -206,7 +206,7 @@
 
 // ChangeClient gives a client another spec, or returns the error of one that makes no sense; what it has open stays
 // open.
-func (x *Core) ChangeClient(c *engine.Client, s fairqueue.Spec) error {
+func (x *Core) ChangeClient(c *engine.Client, s fairqueue.ClientSpec) error {
 	if err := s.Validate(); err != nil {
 		return err
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -124,7 +124,7 @@
 	x := p.core
 	release := make(chan struct{})
 	in := balancer.Request{Deadline: x.config.Clock.Now() + 1_000_000}
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,7 +177,7 @@
 	first, u := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := first.core
 	second := pool(t, x, "second", engine.Member{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -221,7 +221,7 @@
 func TestBegunAnswer(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1, Open: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1, MaxOpen: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -265,7 +265,7 @@
 func TestLeaveAsTheAnswerBegins(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -290,7 +290,7 @@
 func TestSpentRequest(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}, engine.Member{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -317,7 +317,7 @@
 func TestSendingEndsBeforeTheNext(t *testing.T) {
 	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
-	client, err := engine.NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -52,7 +52,7 @@
 }
 
 func spec(name string, b *config.Bounds) http1.Spec {
-	return http1.Spec{Spec: b.Share(name), Connections: b.Connections, Bytes: b.Bytes.Bytes}
+	return http1.Spec{ClientSpec: b.Share(name), Connections: b.Connections, Bytes: b.Bytes.Bytes}
 }
 
 // change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
--- a/internal/decide/fairqueue/shares_test.go
+++ b/internal/decide/fairqueue/shares_test.go
@@ -16,130 +16,130 @@
 const ms monotime.Micros = 1000
 
 // world plays requests in simulated time: what is admitted holds a slot for its time and is then done.
-type world struct {
-	t     rapid.TB
-	x     *Scheduler
-	now   monotime.Micros
-	id    uint64
-	ends  ends
-	took  func(id uint64) monotime.Micros
-	held  map[uint64]*played
-	gone  map[Reason]int
-	slots int
+type simulation struct {
+	t           rapid.TB
+	scheduler   *Scheduler
+	now         monotime.Micros
+	lastID      uint64
+	completions completionHeap
+	serviceTime func(id uint64) monotime.Micros
+	open        map[uint64]*simRequest
+	rejections  map[Reason]int
+	maxInFlight int
 }
 
-type played struct {
-	client *Client
-	asked  monotime.Micros
-	until  monotime.Micros
-	class  int
-	began  monotime.Micros
-	in     bool
-	ended  func(p *played, at monotime.Micros)
-	refuse func(why Reason)
+type simRequest struct {
+	client     *Client
+	enqueuedAt monotime.Micros
+	deadline   monotime.Micros
+	class      int
+	startedAt  monotime.Micros
+	inFlight   bool
+	onEnd      func(p *simRequest, at monotime.Micros)
+	onReject   func(why Reason)
 }
 
-type end struct {
+type completion struct {
 	at monotime.Micros
 	id uint64
 }
 
-type ends []end
+type completionHeap []completion
 
-func (e ends) Len() int { return len(e) }
-func (e ends) Less(i, j int) bool {
+func (e completionHeap) Len() int { return len(e) }
+func (e completionHeap) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].id < e[j].id
 }
-func (e ends) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *ends) Push(v any)   { *e = append(*e, v.(end)) }
-func (e *ends) Pop() any     { l := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return l }
+func (e completionHeap) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *completionHeap) Push(v any)   { *e = append(*e, v.(completion)) }
+func (e *completionHeap) Pop() any     { l := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return l }
 
-func newWorld(t rapid.TB, s Settings, took func(uint64) monotime.Micros) *world {
-	return &world{t: t, x: New(s), took: took, held: map[uint64]*played{}, gone: map[Reason]int{}, slots: s.Slots}
+func newSimulation(t rapid.TB, s Settings, took func(uint64) monotime.Micros) *simulation {
+	return &simulation{t: t, scheduler: New(s), serviceTime: took, open: map[uint64]*simRequest{}, rejections: map[Reason]int{}, maxInFlight: s.MaxInFlight}
 }
 
 // ask offers a request; ended is called when it is over, refuse when it is turned away.
-func (w *world) ask(c *Client, class int, until monotime.Micros, ended func(*played, monotime.Micros), refuse func(Reason)) {
-	w.id++
-	w.held[w.id] = &played{client: c, asked: w.now, until: until, class: class, ended: ended, refuse: refuse}
-	w.x.Offer(w.now, c, Request{ID: w.id, Class: class, Until: until})
-	w.settle()
+func (w *simulation) enqueue(c *Client, class int, deadline monotime.Micros, onEnd func(*simRequest, monotime.Micros), onReject func(Reason)) {
+	w.lastID++
+	w.open[w.lastID] = &simRequest{client: c, enqueuedAt: w.now, deadline: deadline, class: class, onEnd: onEnd, onReject: onReject}
+	w.scheduler.Enqueue(w.now, c, Request{ID: w.lastID, Class: class, Deadline: deadline})
+	w.applyDecisions()
 }
 
 // settle takes the decisions that are due, and checks what must hold after them.
-func (w *world) settle() {
+func (w *simulation) applyDecisions() {
 	for {
-		d, ok := w.x.Next(w.now)
+		d, ok := w.scheduler.Next(w.now)
 		if !ok {
 			break
 		}
-		p := w.held[d.ID]
+		p := w.open[d.ID]
 		if p == nil {
 			w.t.Fatalf("a decision on request %d, which is not open", d.ID)
 		}
-		if d.Verb == TurnAway {
-			if p.in {
+		if d.Action == Reject {
+			if p.inFlight {
 				w.t.Fatalf("request %d was turned away in flight", d.ID)
 			}
 			if d.RetryAfter < 0 {
 				w.t.Fatalf("retry after %d", d.RetryAfter)
 			}
-			delete(w.held, d.ID)
-			w.gone[d.Reason]++
-			if p.refuse != nil {
-				p.refuse(d.Reason)
+			delete(w.open, d.ID)
+			w.rejections[d.Reason]++
+			if p.onReject != nil {
+				p.onReject(d.Reason)
 			}
 			continue
 		}
-		if p.in {
+		if p.inFlight {
 			w.t.Fatalf("request %d was admitted twice", d.ID)
 		}
-		p.in, p.began = true, w.now
-		heap.Push(&w.ends, end{w.now + w.took(d.ID), d.ID})
+		p.inFlight, p.startedAt = true, w.now
+		heap.Push(&w.completions, completion{w.now + w.serviceTime(d.ID), d.ID})
 	}
-	waiting, in := len(w.held)-len(w.ends), len(w.ends)
-	if a, b := w.x.Counts(); a != waiting || b != in {
+	waiting, in := len(w.open)-len(w.completions), len(w.completions)
+	if a, b := w.scheduler.Counts(); a != waiting || b != in {
 		w.t.Fatalf("it counts %d waiting and %d in flight; there are %d and %d", a, b, waiting, in)
 	}
-	if w.slots > 0 && in > w.slots {
-		w.t.Fatalf("%d in flight of %d", in, w.slots)
+	if w.maxInFlight > 0 && in > w.maxInFlight {
+		w.t.Fatalf("%d in flight of %d", in, w.maxInFlight)
 	}
-	if waiting > 0 && (w.slots == 0 || in < w.slots) {
-		w.t.Fatalf("%d wait while %d of %d slots are taken", waiting, in, w.slots)
+	if waiting > 0 && (w.maxInFlight == 0 || in < w.maxInFlight) {
+		w.t.Fatalf("%d wait while %d of %d slots are taken", waiting, in, w.maxInFlight)
 	}
 }
 
 // until plays on to an instant.
-func (w *world) until(at monotime.Micros) {
+func (w *simulation) runUntil(at monotime.Micros) {
 	for {
 		next := at
-		if len(w.ends) > 0 {
-			next = min(next, w.ends[0].at)
+		if len(w.completions) > 0 {
+			next = min(next, w.completions[0].at)
 		}
-		if wake := w.x.Wake(); wake > 0 {
+		if wake := w.scheduler.NextExpiry(); wake > 0 {
 			next = min(next, max(w.now, wake))
 		}
 		w.now = max(w.now, next)
-		if len(w.ends) > 0 && w.ends[0].at <= w.now {
-			e := heap.Pop(&w.ends).(end)
-			p := w.held[e.id]
-			delete(w.held, e.id)
-			w.x.Done(w.now, e.id)
-			w.x.Learn(p.class, w.now-p.began)
-			w.settle()
-			if p.ended != nil {
-				p.ended(p, w.now)
+		if len(w.completions) > 0 && w.completions[0].at <= w.now {
+			e := heap.Pop(&w.completions).(completion)
+			p := w.open[e.id]
+			delete(w.open, e.id)
+			w.scheduler.Done(w.now, e.id)
+			w.scheduler.ObserveServiceTime(p.class, w.now-p.startedAt)
+			w.applyDecisions()
+			if p.onEnd != nil {
+				p.onEnd(p, w.now)
 			}
 			continue
 		}
-		w.settle()
+		w.applyDecisions()
 		if w.now >= at {
 			return
 		}
 	}
 }
 
-func add(t rapid.TB, s Spec) *Client {
+func newTestClient(t rapid.TB, s ClientSpec) *Client {
 	c, err := NewClient(s)
 	if err != nil {
 		t.Fatal(err)
@@ -149,16 +149,16 @@
 
 // Under saturation each client's time in flight is within 5% of its weight's part in any second, none starves,
 // and no slot is idle while someone waits (settle checks that).
-func TestSharesFollowWeights(t *testing.T) {
+func TestTimeInFlightFollowsWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 24).Draw(t, "slots")
 		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
 		means := rapid.SliceOfN(rapid.Int64Range(1000, 4000), len(weights), len(weights)).Draw(t, "means")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		var w *world
-		w = newWorld(t, Settings{Classes: make([]monotime.Micros, len(weights)), Slots: slots}, func(id uint64) monotime.Micros {
+		var w *simulation
+		w = newSimulation(t, Settings{InitialTimes: make([]monotime.Micros, len(weights)), MaxInFlight: slots}, func(id uint64) monotime.Micros {
 			// Each client has a class of its own: some clients' requests take longer than others'.
-			return monotime.Micros(float64(means[w.held[id].class]) * (0.5 + rng.Float64()))
+			return monotime.Micros(float64(means[w.open[id].class]) * (0.5 + rng.Float64()))
 		})
 		const length, slice = 3 * second, second / 4
 		used := make([][]float64, len(weights)) // time in flight by slices of a quarter second
@@ -166,11 +166,11 @@
 		for i, weight := range weights {
 			sum += float64(weight)
 			used[i] = make([]float64, length/slice+1)
-			c := add(t, Spec{Name: fmt.Sprint(i), Weight: float64(weight)})
+			c := newTestClient(t, ClientSpec{Name: fmt.Sprint(i), Weight: float64(weight)})
 			// Each keeps enough waiting that it never runs dry.
-			var again func(p *played, at monotime.Micros)
-			again = func(p *played, at monotime.Micros) {
-				for from := p.began; from < at; {
+			var again func(p *simRequest, at monotime.Micros)
+			again = func(p *simRequest, at monotime.Micros) {
+				for from := p.startedAt; from < at; {
 					to := min(at, (from/slice+1)*slice)
 					if s := from / slice; int(s) < len(used[i]) {
 						used[i][s] += float64(to - from)
@@ -178,14 +178,14 @@
 					from = to
 				}
 				if w.now < length {
-					w.ask(c, i, math.MaxInt64/2, again, nil)
+					w.enqueue(c, i, math.MaxInt64/2, again, nil)
 				}
 			}
 			for range 2*slots + 2 {
-				w.ask(c, i, math.MaxInt64/2, again, nil)
+				w.enqueue(c, i, math.MaxInt64/2, again, nil)
 			}
 		}
-		w.until(length)
+		w.runUntil(length)
 		for from := 2; from+4 <= len(used[0])-2; from++ { // any second but the first half, where costs are guessed
 			var all float64
 			for i := range used {
@@ -209,112 +209,112 @@
 
 // Whatever clients ask, each request has one decision to go on or be turned away, none waits past the instant at
 // which its answer could still be in time, and at the end all counts are back where they began.
-func TestEveryRequestIsDecided(t *testing.T) {
+func TestEveryRequestIsAdmittedOrRejectedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
-		s := Settings{Classes: []monotime.Micros{5 * ms, 20 * ms}, Slots: rapid.IntRange(0, 6).Draw(t, "slots"),
-			Total: &Total{Most: rapid.SampledFrom([]int{0, 5, 50}).Draw(t, "open")}}
-		w := newWorld(t, s, func(uint64) monotime.Micros { return rng.Int64N(40 * ms) })
+		s := Settings{InitialTimes: []monotime.Micros{5 * ms, 20 * ms}, MaxInFlight: rapid.IntRange(0, 6).Draw(t, "slots"),
+			Shared: &SharedLimit{Max: rapid.SampledFrom([]int{0, 5, 50}).Draw(t, "open")}}
+		w := newSimulation(t, s, func(uint64) monotime.Micros { return rng.Int64N(40 * ms) })
 		var clients []*Client
 		for i := range rapid.IntRange(1, 4).Draw(t, "clients") {
-			clients = append(clients, add(t, Spec{Name: fmt.Sprint(i), Weight: 0.5 + rng.Float64(),
-				Open: rng.IntN(3) * 4, Rate: float64(rng.IntN(2)) * 100, Burst: 10}))
+			clients = append(clients, newTestClient(t, ClientSpec{Name: fmt.Sprint(i), Weight: 0.5 + rng.Float64(),
+				MaxOpen: rng.IntN(3) * 4, Rate: float64(rng.IntN(2)) * 100, Burst: 10}))
 		}
-		asked, over := 0, 0
+		enqueued, finished := 0, 0
 		for range 600 {
 			switch rng.IntN(8) {
 			case 0:
-				w.until(w.now + rng.Int64N(30*ms))
+				w.runUntil(w.now + rng.Int64N(30*ms))
 			case 1: // a client goes, while it waits or in flight
-				for id, p := range w.held {
-					if !p.in {
-						delete(w.held, id)
-						w.x.Done(w.now, id)
-						w.settle()
-						over++
+				for id, p := range w.open {
+					if !p.inFlight {
+						delete(w.open, id)
+						w.scheduler.Done(w.now, id)
+						w.applyDecisions()
+						finished++
 					}
 					break
 				}
 			case 2:
-				if s.Slots > 0 {
-					w.slots = 1 + rng.IntN(8)
-					w.x.Slots(w.slots)
-					if _, in := w.x.Counts(); in > w.slots {
-						w.slots = in // those in flight stay
-						w.x.Slots(in)
+				if s.MaxInFlight > 0 {
+					w.maxInFlight = 1 + rng.IntN(8)
+					w.scheduler.SetMaxInFlight(w.maxInFlight)
+					if _, in := w.scheduler.Counts(); in > w.maxInFlight {
+						w.maxInFlight = in // those in flight stay
+						w.scheduler.SetMaxInFlight(in)
 					}
-					w.settle()
+					w.applyDecisions()
 				}
 			default:
-				asked++
+				enqueued++
 				c := clients[rng.IntN(len(clients))]
-				w.ask(c, rng.IntN(2), w.now+rng.Int64N(200*ms), func(p *played, _ monotime.Micros) {
-					over++
-					if p.began > p.until {
-						t.Fatalf("a request went on at %d whose answer had to be there at %d", p.began, p.until)
+				w.enqueue(c, rng.IntN(2), w.now+rng.Int64N(200*ms), func(p *simRequest, _ monotime.Micros) {
+					finished++
+					if p.startedAt > p.deadline {
+						t.Fatalf("a request went on at %d whose answer had to be there at %d", p.startedAt, p.deadline)
 					}
-				}, func(Reason) { over++ })
+				}, func(Reason) { finished++ })
 			}
 			for _, c := range clients {
-				waiting, in := c.Open()
-				if c.spec.Open > 0 && waiting+in > c.spec.Open {
-					t.Fatalf("%d open of %d", waiting+in, c.spec.Open)
+				waiting, in := c.Counts()
+				if c.spec.MaxOpen > 0 && waiting+in > c.spec.MaxOpen {
+					t.Fatalf("%d open of %d", waiting+in, c.spec.MaxOpen)
 				}
 			}
-			if waiting, in := w.x.Counts(); s.Total.Most > 0 && waiting+in > s.Total.Most {
-				t.Fatalf("%d open of %d in all", waiting+in, s.Total.Most)
+			if waiting, in := w.scheduler.Counts(); s.Shared.Max > 0 && waiting+in > s.Shared.Max {
+				t.Fatalf("%d open of %d in all", waiting+in, s.Shared.Max)
 			}
 		}
-		w.until(w.now + 10*second)
-		if asked != over {
-			t.Fatalf("%d asked, %d over", asked, over)
+		w.runUntil(w.now + 10*second)
+		if enqueued != finished {
+			t.Fatalf("%d asked, %d over", enqueued, finished)
 		}
-		if len(w.x.requests) != 0 || len(w.x.backlog) != 0 || len(w.x.expiry) != 0 || w.x.inFlight != 0 || w.x.weights != 0 {
-			t.Fatalf("left behind: %+v", w.x)
+		if len(w.scheduler.requests) != 0 || len(w.scheduler.backlog) != 0 || len(w.scheduler.expiry) != 0 || w.scheduler.inFlight != 0 || w.scheduler.backlogWeight != 0 {
+			t.Fatalf("left behind: %+v", w.scheduler)
 		}
 	})
 }
 
 // A client within its share is not hurt by one at twenty times its own: it waits for a turn, never behind the
 // other's queue, and none of its requests is turned away.
-func TestModestClientBesideAHog(t *testing.T) {
-	run := func(hog float64) (p99 monotime.Micros, refused int, share float64) {
+func TestLightClientIsIsolatedFromHeavyClient(t *testing.T) {
+	run := func(heavyLoad float64) (p99 monotime.Micros, rejected int, share float64) {
 		rng := rand.New(rand.NewPCG(5, 3))
-		w := newWorld(t, Settings{Classes: []monotime.Micros{10 * ms}, Slots: 16}, func(uint64) monotime.Micros {
+		w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 16}, func(uint64) monotime.Micros {
 			return 8*ms + rng.Int64N(4*ms)
 		})
-		modest, greedy := add(t, Spec{Name: "modest", Weight: 1}), add(t, Spec{Name: "greedy", Weight: 1})
+		light, heavy := newTestClient(t, ClientSpec{Name: "modest", Weight: 1}), newTestClient(t, ClientSpec{Name: "greedy", Weight: 1})
 		var times []monotime.Micros
-		var own, all monotime.Micros
+		var lightTime, all monotime.Micros
 		next := [2]float64{}
 		for w.now < 20*second { // the modest asks 400 times a second, half of its share of what can be done
 			i := 0
-			if next[1] < next[0] && hog > 0 {
+			if next[1] < next[0] && heavyLoad > 0 {
 				i = 1
 			}
-			w.until(monotime.Micros(next[i]))
+			w.runUntil(monotime.Micros(next[i]))
 			if i == 0 {
 				next[0] += rng.ExpFloat64() / 400 * float64(second)
-				w.ask(modest, 0, w.now+250*ms, func(p *played, end monotime.Micros) {
-					times = append(times, end-p.asked)
-					own += end - p.began
-					all += end - p.began
-				}, func(Reason) { refused++ })
+				w.enqueue(light, 0, w.now+250*ms, func(p *simRequest, end monotime.Micros) {
+					times = append(times, end-p.enqueuedAt)
+					lightTime += end - p.startedAt
+					all += end - p.startedAt
+				}, func(Reason) { rejected++ })
 				continue
 			}
-			next[1] += rng.ExpFloat64() / (400 * hog) * float64(second)
-			w.ask(greedy, 0, w.now+250*ms, func(p *played, end monotime.Micros) { all += end - p.began }, nil)
+			next[1] += rng.ExpFloat64() / (400 * heavyLoad) * float64(second)
+			w.enqueue(heavy, 0, w.now+250*ms, func(p *simRequest, end monotime.Micros) { all += end - p.startedAt }, nil)
 		}
 		slices.Sort(times)
-		return times[len(times)*99/100], refused, 1 - float64(own)/float64(all)
+		return times[len(times)*99/100], rejected, 1 - float64(lightTime)/float64(all)
 	}
-	alone, refused, _ := run(0)
-	if refused != 0 {
-		t.Fatalf("alone %d refused", refused)
+	alone, rejected, _ := run(0)
+	if rejected != 0 {
+		t.Fatalf("alone %d refused", rejected)
 	}
-	beside, refused, share := run(20)
-	if refused != 0 {
-		t.Errorf("beside the other %d of its requests were turned away", refused)
+	beside, rejected, share := run(20)
+	if rejected != 0 {
+		t.Errorf("beside the other %d of its requests were turned away", rejected)
 	}
 	if r := float64(beside) / float64(alone); r > 1.25 {
 		t.Errorf("p99 %d us beside the other, %d alone: %.2f times, want 1.25 at most", beside, alone, r)
@@ -325,140 +325,140 @@
 }
 
 // What cannot be in time is turned away at once, with the time after which it may be.
-func TestTurnedAwayAtOnce(t *testing.T) {
-	w := newWorld(t, Settings{Classes: []monotime.Micros{100 * ms}, Slots: 1}, func(uint64) monotime.Micros { return 100 * ms })
-	c := add(t, Spec{Name: "c", Weight: 1})
-	w.ask(c, 0, 250*ms, nil, nil) // in flight
-	w.ask(c, 0, 250*ms, nil, nil) // waits for the first
-	w.x.Offer(0, c, Request{ID: 99, Until: 250 * ms})
-	w.held[99] = &played{client: c}
-	d, ok := w.x.Next(0)
-	if !ok || d.Verb != TurnAway || d.Reason != Late || d.RetryAfter < 20*ms || d.RetryAfter > 200*ms {
+func TestRejectsAtOnceWhatWouldMissItsDeadline(t *testing.T) {
+	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{100 * ms}, MaxInFlight: 1}, func(uint64) monotime.Micros { return 100 * ms })
+	c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
+	w.enqueue(c, 0, 250*ms, nil, nil) // in flight
+	w.enqueue(c, 0, 250*ms, nil, nil) // waits for the first
+	w.scheduler.Enqueue(0, c, Request{ID: 99, Deadline: 250 * ms})
+	w.open[99] = &simRequest{client: c}
+	d, ok := w.scheduler.Next(0)
+	if !ok || d.Action != Reject || d.Reason != WouldMissDeadline || d.RetryAfter < 20*ms || d.RetryAfter > 200*ms {
 		t.Fatalf("the third: %+v, want it turned away as late, to come back after 50 to 200 ms", d)
 	}
 }
 
 // Where there is room a request goes on, however slow its class has been: whether it is worth sending, the
 // balancer decides.
-func TestNobodyIsTurnedAwayWhileThereIsRoom(t *testing.T) {
+func TestAdmitsWhileCapacityIsFree(t *testing.T) {
 	for _, slots := range []int{0, 1} {
-		w := newWorld(t, Settings{Classes: []monotime.Micros{10 * ms}, Slots: slots}, func(uint64) monotime.Micros { return 300 * ms })
-		c := add(t, Spec{Name: "c", Weight: 1})
+		w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: slots}, func(uint64) monotime.Micros { return 300 * ms })
+		c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
 		for range 20 {
-			w.ask(c, 0, w.now+200*ms, nil, func(why Reason) { t.Fatalf("slots %d: turned away: %v", slots, why) })
-			w.until(w.now + 400*ms)
+			w.enqueue(c, 0, w.now+200*ms, nil, func(why Reason) { t.Fatalf("slots %d: turned away: %v", slots, why) })
+			w.runUntil(w.now + 400*ms)
 		}
 	}
 }
 
 // A request that waits is given up at the instant from which its answer could not be in time.
-func TestGivenUpWhileWaiting(t *testing.T) {
-	w := newWorld(t, Settings{Classes: []monotime.Micros{10 * ms}, Slots: 1}, func(id uint64) monotime.Micros {
+func TestRejectsWaitingRequestAtItsLatestStart(t *testing.T) {
+	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1}, func(id uint64) monotime.Micros {
 		return map[bool]monotime.Micros{true: second, false: 10 * ms}[id == 1] // the first hangs
 	})
-	c := add(t, Spec{Name: "c", Weight: 1})
-	w.ask(c, 0, 250*ms, nil, nil)
+	c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
+	w.enqueue(c, 0, 250*ms, nil, nil)
 	var at monotime.Micros
-	w.ask(c, 0, 50*ms, nil, func(why Reason) {
-		if at = w.now; why != Late {
+	w.enqueue(c, 0, 50*ms, nil, func(why Reason) {
+		if at = w.now; why != WouldMissDeadline {
 			t.Errorf("turned away as: %v", why)
 		}
 	})
-	w.until(200 * ms)
+	w.runUntil(200 * ms)
 	if at != 40*ms {
 		t.Errorf("given up at %d us, want 40 ms: 50 less the 10 that it takes", at)
 	}
 }
 
 // The bounds of a client hold, and tell when to come back.
-func TestBounds(t *testing.T) {
-	w := newWorld(t, Settings{Classes: []monotime.Micros{10 * ms}, Slots: 1, Total: &Total{Most: 4}}, func(uint64) monotime.Micros { return 10 * ms })
-	few, fast, any := add(t, Spec{Name: "few", Weight: 1, Open: 2}),
-		add(t, Spec{Name: "fast", Weight: 1, Rate: 10, Burst: 2}), add(t, Spec{Name: "any", Weight: 1})
+func TestClientLimits(t *testing.T) {
+	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1, Shared: &SharedLimit{Max: 4}}, func(uint64) monotime.Micros { return 10 * ms })
+	few, fast, any := newTestClient(t, ClientSpec{Name: "few", Weight: 1, MaxOpen: 2}),
+		newTestClient(t, ClientSpec{Name: "fast", Weight: 1, Rate: 10, Burst: 2}), newTestClient(t, ClientSpec{Name: "any", Weight: 1})
 	expect := func(c *Client, want Reason) {
 		t.Helper()
 		got := None
-		w.ask(c, 0, w.now+second, nil, func(why Reason) { got = why })
+		w.enqueue(c, 0, w.now+second, nil, func(why Reason) { got = why })
 		if got != want {
 			t.Errorf("turned away as %q, want %q", got, want)
 		}
 	}
 	expect(few, None)
 	expect(few, None)
-	expect(few, TooMany)
+	expect(few, ClientAtLimit)
 	expect(any, None)
 	expect(any, None)
-	expect(any, Full)
-	w.until(second)
+	expect(any, TotalAtLimit)
+	w.runUntil(second)
 	expect(few, None)
 	expect(fast, None)
 	expect(fast, None)
-	expect(fast, TooFast)
-	w.x.Offer(w.now, fast, Request{ID: 999, Until: w.now + second})
-	if d, _ := w.x.Next(w.now); d.RetryAfter != 100*ms {
+	expect(fast, ClientOverRate)
+	w.scheduler.Enqueue(w.now, fast, Request{ID: 999, Deadline: w.now + second})
+	if d, _ := w.scheduler.Next(w.now); d.RetryAfter != 100*ms {
 		t.Errorf("to come back after %d us, want 100 ms: one of ten a second", d.RetryAfter)
 	}
-	w.until(2 * second)
+	w.runUntil(2 * second)
 	expect(fast, None)
 }
 
-func TestSpecsThatMakeNoSense(t *testing.T) {
-	for _, s := range []Spec{{}, {Weight: -1}, {Weight: math.NaN()}, {Weight: math.Inf(1)}, {Weight: 1, Open: -1},
+func TestInvalidClientSpecs(t *testing.T) {
+	for _, s := range []ClientSpec{{}, {Weight: -1}, {Weight: math.NaN()}, {Weight: math.Inf(1)}, {Weight: 1, MaxOpen: -1},
 		{Weight: 1, Rate: -1}, {Weight: 1, Rate: 5}, {Weight: 1, Rate: math.NaN()}} {
 		if _, err := NewClient(s); err == nil {
 			t.Errorf("%+v was taken", s)
 		}
-		if err := add(t, Spec{Weight: 1}).Change(s); err == nil {
+		if err := newTestClient(t, ClientSpec{Weight: 1}).Update(s); err == nil {
 			t.Errorf("a change to %+v was taken", s)
 		}
 	}
 }
 
 // A client whose weight changes has its new share from then on.
-func TestChange(t *testing.T) {
-	w := newWorld(t, Settings{Classes: []monotime.Micros{ms}, Slots: 2}, func(uint64) monotime.Micros { return ms })
-	a, b := add(t, Spec{Name: "a", Weight: 1}), add(t, Spec{Name: "b", Weight: 1})
+func TestClientUpdateChangesItsShare(t *testing.T) {
+	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{ms}, MaxInFlight: 2}, func(uint64) monotime.Micros { return ms })
+	a, b := newTestClient(t, ClientSpec{Name: "a", Weight: 1}), newTestClient(t, ClientSpec{Name: "b", Weight: 1})
 	var done [2]int
 	for i, c := range []*Client{a, b} {
-		var again func(*played, monotime.Micros)
-		again = func(*played, monotime.Micros) {
+		var again func(*simRequest, monotime.Micros)
+		again = func(*simRequest, monotime.Micros) {
 			if done[i]++; w.now < 2*second {
-				w.ask(c, 0, math.MaxInt64/2, again, nil)
+				w.enqueue(c, 0, math.MaxInt64/2, again, nil)
 			}
 		}
 		for range 5 {
-			w.ask(c, 0, math.MaxInt64/2, again, nil)
+			w.enqueue(c, 0, math.MaxInt64/2, again, nil)
 		}
 	}
-	w.until(second)
+	w.runUntil(second)
 	if r := float64(done[0]) / float64(done[1]); math.Abs(r-1) > 0.02 {
 		t.Fatalf("%v with equal weights", done)
 	}
-	if err := b.Change(Spec{Name: "b", Weight: 3}); err != nil {
+	if err := b.Update(ClientSpec{Name: "b", Weight: 3}); err != nil {
 		t.Fatal(err)
 	}
 	before := done
-	w.until(2 * second)
+	w.runUntil(2 * second)
 	if r := float64(done[1]-before[1]) / float64(done[0]-before[0]); math.Abs(r-3) > 0.1 {
 		t.Errorf("%.2f times as much with three times the weight", r)
 	}
 }
 
 // The bounds of a client, and the bound on all, hold over several schedulers; a place in one is none in another.
-func TestSeveralSchedulers(t *testing.T) {
-	total := &Total{Most: 5}
+func TestLimitsHoldOverSeveralSchedulers(t *testing.T) {
+	total := &SharedLimit{Max: 5}
 	var x [2]*Scheduler
 	for i := range x {
-		x[i] = New(Settings{Classes: []monotime.Micros{ms}, Slots: 1, Total: total})
+		x[i] = New(Settings{InitialTimes: []monotime.Micros{ms}, MaxInFlight: 1, Shared: total})
 	}
-	a, b := add(t, Spec{Name: "a", Weight: 1, Open: 3}), add(t, Spec{Name: "b", Weight: 1})
+	a, b := newTestClient(t, ClientSpec{Name: "a", Weight: 1, MaxOpen: 3}), newTestClient(t, ClientSpec{Name: "b", Weight: 1})
 	id := uint64(0)
 	ask := func(x *Scheduler, c *Client, want Decision) {
 		t.Helper()
 		id++
-		x.Offer(0, c, Request{ID: id, Until: second})
+		x.Enqueue(0, c, Request{ID: id, Deadline: second})
 		d, ok := x.Next(0)
-		if ok != (d.ID != 0) || ok && d.ID != id || d.Verb != want.Verb || d.Reason != want.Reason || !ok && want.ID != 0 {
+		if ok != (d.ID != 0) || ok && d.ID != id || d.Action != want.Action || d.Reason != want.Reason || !ok && want.ID != 0 {
 			t.Fatalf("request %d: %+v, %v", id, d, ok)
 		}
 	}
@@ -466,15 +466,15 @@
 	ask(x[0], a, goes)
 	ask(x[0], a, waits)
 	ask(x[1], a, goes)
-	ask(x[1], a, Decision{ID: 1, Verb: TurnAway, Reason: TooMany})
+	ask(x[1], a, Decision{ID: 1, Action: Reject, Reason: ClientAtLimit})
 	ask(x[1], b, waits)
 	ask(x[0], b, waits)
-	ask(x[0], b, Decision{ID: 1, Verb: TurnAway, Reason: Full})
-	if w, in := a.Open(); w != 1 || in != 2 {
+	ask(x[0], b, Decision{ID: 1, Action: Reject, Reason: TotalAtLimit})
+	if w, in := a.Counts(); w != 1 || in != 2 {
 		t.Errorf("a has %d waiting and %d in flight", w, in)
 	}
 	x[1].Done(0, 3)
-	if d, ok := x[1].Next(0); !ok || d.ID != 5 || d.Verb != Admit {
+	if d, ok := x[1].Next(0); !ok || d.ID != 5 || d.Action != Admit {
 		t.Errorf("with a place free there: %+v, %v", d, ok)
 	}
 	ask(x[1], a, waits)
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -14,7 +14,7 @@
 }
 
 // NewClient returns a client, or the error of a spec that makes no sense.
-func NewClient(s fairqueue.Spec) (*Client, error) {
+func NewClient(s fairqueue.ClientSpec) (*Client, error) {
 	account, err := fairqueue.NewClient(s)
 	if err != nil {
 		return nil, err
@@ -26,7 +26,7 @@
 func (c *Client) Open() int { return len(c.ids) }
 
 // Change gives a client another spec, or returns the error of one that makes no sense; what it has open stays open.
-func (c *Client) Change(s fairqueue.Spec) error { return c.account.Change(s) }
+func (c *Client) Change(s fairqueue.ClientSpec) error { return c.account.Update(s) }
 
 // Sharing says how many requests may go on together.
 type Sharing struct {
@@ -50,7 +50,7 @@
 		}
 		s.Slots = p.limit.Value()
 	}
-	p.shares = fairqueue.New(fairqueue.Settings{Classes: expect, Slots: s.Slots, Total: p.engine.total})
+	p.shares = fairqueue.New(fairqueue.Settings{InitialTimes: expect, MaxInFlight: s.Slots, Shared: p.engine.total})
 	return nil
 }
 
@@ -64,7 +64,7 @@
 	if class.LateWorth == 0 {
 		until = min(until, c.Arrived+class.Aim)
 	}
-	p.shares.Offer(now, c.Client.account, fairqueue.Request{ID: c.In.ID, Class: int(c.In.Class), Until: until, Patience: p.balancer.Patience(now, c.In)})
+	p.shares.Enqueue(now, c.Client.account, fairqueue.Request{ID: c.In.ID, Class: int(c.In.Class), Deadline: until, MaxWaitFraction: p.balancer.Patience(now, c.In)})
 	p.engine.touch(p)
 }
 
@@ -90,7 +90,7 @@
 func (p *Pool) pump(now monotime.Micros) {
 	x := p.engine
 	if p.limit != nil {
-		p.shares.Slots(p.limit.Value())
+		p.shares.SetMaxInFlight(p.limit.Value())
 	}
 	for {
 		d, ok := p.shares.Next(now)
@@ -98,7 +98,7 @@
 			break
 		}
 		c := x.calls[d.ID]
-		if d.Verb == fairqueue.TurnAway {
+		if d.Action == fairqueue.Reject {
 			x.finish(c, x.turnedAway(d))
 			continue
 		}
@@ -107,7 +107,7 @@
 		p.balancer.Request(now, c.In)
 	}
 	// Whoever waits is looked at again when no answer could be in time any more.
-	if at := p.shares.Wake(); at != p.wakeAt {
+	if at := p.shares.NextExpiry(); at != p.wakeAt {
 		x.callOff(p.wake)
 		if p.wake, p.wakeAt = nil, at; at != 0 {
 			p.wake = x.at(at, func(monotime.Micros) {
@@ -121,7 +121,7 @@
 // turnedAway is the answer to a request that is not admitted.
 func (x *Engine) turnedAway(d fairqueue.Decision) Answer {
 	a := Answer{Verdict: Refused, Reason: d.Reason.String()}
-	if d.Reason == fairqueue.TooFast {
+	if d.Reason == fairqueue.ClientOverRate {
 		a.Verdict = Limited
 	}
 	limits := &x.config.Site.Settings.Limits
@@ -136,7 +136,7 @@
 // learn takes in what a request that was served tells of how long such take.
 func (p *Pool) learn(now monotime.Micros, c *Call) {
 	took := now - c.admitted
-	p.shares.Learn(int(c.In.Class), took)
+	p.shares.ObserveServiceTime(int(c.In.Class), took)
 	if p.limit != nil {
 		waiting, _ := p.shares.Counts()
 		p.limit.Sample(now, int(c.In.Class), took, c.inFlight, waiting > 0 || c.admitted > c.Arrived+waitedLeast)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -152,7 +152,7 @@
 // Engine decides. Make one with New, and give it pools.
 type Engine struct {
 	config Config
-	total  *fairqueue.Total // of requests over all pools
+	total  *fairqueue.SharedLimit // of requests over all pools
 	rng    *rand.Rand
 
 	now      monotime.Micros // the instant of the present event
@@ -170,7 +170,7 @@
 
 // New returns an engine without pools.
 func New(c Config) *Engine {
-	x := &Engine{config: c, total: &fairqueue.Total{Most: c.Sharing.Open}, calls: map[uint64]*Call{},
+	x := &Engine{config: c, total: &fairqueue.SharedLimit{Max: c.Sharing.Open}, calls: map[uint64]*Call{},
 		rng: rand.New(rand.NewPCG(c.Seed, 1))}
 	x.alone()
 	return x
--- a/internal/engine/order_test.go
+++ b/internal/engine/order_test.go
@@ -18,7 +18,7 @@
 	sent := func(n int) map[string]int {
 		all := map[string]int{}
 		for range n {
-			c, _ := NewClient(fairqueue.Spec{Weight: 1})
+			c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
 			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(now), Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 500_000}})
 			for len(h.started) > 0 {
 				a := h.started[0]
@@ -54,7 +54,7 @@
 		t.Errorf("once it holds no more: %v", got)
 	}
 	x.Order(now, Orders{Ahead: []string{"e1"}, Until: now + 2*second, End: now + 3*second})
-	c, _ := NewClient(fairqueue.Spec{Weight: 1})
+	c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
 	call := &Call{Client: c, Pool: p, ID: "open", Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
 	for range 200 { // until one goes to it
 		x.Submit(now, call)
@@ -63,7 +63,7 @@
 		}
 		h.served(x, now+20_000)
 		now += 5_000
-		c, _ = NewClient(fairqueue.Spec{Weight: 1})
+		c, _ = NewClient(fairqueue.ClientSpec{Weight: 1})
 		call = &Call{Client: c, Pool: p, ID: "open", Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
 	}
 	if x.Open([]string{"e1"})["e1"] != 1 {
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -52,9 +52,9 @@
 
 // ClassLearned is what is known of a class. Meaning tells whether another's class of this name is the same.
 type ClassLearned struct {
-	Name    string          `json:"Name"`
-	Meaning string          `json:"Meaning"`
-	Times   fairqueue.Times `json:"Times"`
+	Name    string                `json:"Name"`
+	Meaning string                `json:"Meaning"`
+	Times   fairqueue.ServiceTime `json:"Times"`
 }
 
 // TenantLearned is a tenant of the settings.
@@ -114,7 +114,7 @@
 		}
 		return int(p.byName[a.Name].Number) - int(p.byName[b.Name].Number)
 	})
-	times := p.shares.Learned()
+	times := p.shares.ServiceTimes()
 	settings := &p.engine.config.Site.Settings
 	for i := range settings.Classes {
 		s.Classes = append(s.Classes, ClassLearned{p.engine.config.Site.Classes[i], classMeaning(&settings.Classes[i]), times[i]})
@@ -197,7 +197,7 @@
 			continue
 		}
 		l.Classes = append(l.Classes, s.Learned.Classes[at])
-		p.shares.Restore(i, s.Classes[at].Times)
+		p.shares.RestoreServiceTime(i, s.Classes[at].Times)
 	}
 	for i, name := range p.engine.config.Site.Tenants {
 		at := slices.IndexFunc(s.Tenants, func(t TenantLearned) bool {
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -176,7 +176,7 @@
 			p.Members(now, Told{Kind: balancer.ListDelta, Generation: 2,
 				Members: []Member{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, Started: now}}})
 		}
-		c, err := NewClient(fairqueue.Spec{Weight: 1})
+		c, err := NewClient(fairqueue.ClientSpec{Weight: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -76,7 +76,7 @@
 		t.Fatal(err)
 	}
 	h.p.Begin(1_000 * second)
-	c, err := NewClient(fairqueue.Spec{Name: "c", Weight: 1})
+	c, err := NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -78,7 +78,7 @@
 
 func submit(t testing.TB, x *Engine, p *Pool, now monotime.Micros, id string, tenant uint16) {
 	t.Helper()
-	c, err := NewClient(fairqueue.Spec{Weight: 1})
+	c, err := NewClient(fairqueue.ClientSpec{Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,7 +166,7 @@
 	count := func(class uint8) (part float64) {
 		all, there := 0, 0
 		for i := range 300 {
-			c, _ := NewClient(fairqueue.Spec{Weight: 1})
+			c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
 			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(class, i), Arrived: now, In: balancer.Request{Class: class, Tenant: 1, Deadline: now + 500_000}})
 			n, e1 := h.served(x, now+20_000)
 			all, there = all+n, there+e1
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -169,7 +169,7 @@
 
 // settings returns what the model takes of a daemon's file.
 func settings(c *config.Config) *simulation.Settings {
-	s := &simulation.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: fairqueue.Spec{Weight: 1},
+	s := &simulation.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: fairqueue.ClientSpec{Weight: 1},
 		Subset: c.Fleet.Part(), Overload: c.Overload.Decides(c.Fleet.Instances), Together: c.Together(0)}
 	if len(c.Clients) > 0 {
 		s.Client = c.Clients[0].Share(c.Clients[0].Name)
--- a/internal/frontend/http1/conns.go
+++ b/internal/frontend/http1/conns.go
@@ -30,7 +30,7 @@
 
 // Spec is what a client may do. A bound of 0 is no bound.
 type Spec struct {
-	fairqueue.Spec
+	fairqueue.ClientSpec
 	Connections int
 	Bytes       int64 // that its requests and their answers may hold
 }
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -78,7 +78,7 @@
 
 // NewClient returns a client of the front, or the error of a spec that makes no sense.
 func (f *Front) NewClient(s Spec) (*Client, error) {
-	share, err := engine.NewClient(s.Spec)
+	share, err := engine.NewClient(s.ClientSpec)
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +91,7 @@
 
 // ChangeClient gives a client another spec; what it has open stays open.
 func (f *Front) ChangeClient(c *Client, s Spec) error {
-	if err := f.o.Core.ChangeClient(c.share, s.Spec); err != nil {
+	if err := f.o.Core.ChangeClient(c.share, s.ClientSpec); err != nil {
 		return err
 	}
 	f.conns.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.client, err = s.front.NewClient(http1.Spec{Spec: fairqueue.Spec{Name: c.Name, Weight: 1}})
+	s.client, err = s.front.NewClient(http1.Spec{ClientSpec: fairqueue.ClientSpec{Name: c.Name, Weight: 1}})
 	return s, err
 }
 
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -42,7 +42,7 @@
 	Together    *engine.Together   // of each: who it is and who carries words are filled in; nil is none
 	Connections int                // to endpoints, of an instance; 0 is no bound
 	Clients     connlimit.Limits
-	Client      fairqueue.Spec // what each client process may do
+	Client      fairqueue.ClientSpec // what each client process may do
 
 	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots differ
 	// in nothing else.
