--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -447,7 +447,7 @@
 	r := &c.Requests
 	s := engine.Sharing{Slots: r.InFlight, Open: r.Open}
 	if r.InFlight == 0 {
-		s.Adaptive = &concurrency.Settings{Least: r.InFlightLeast, Most: r.InFlightMost, First: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
+		s.Adaptive = &concurrency.Settings{Min: r.InFlightLeast, Max: r.InFlightMost, Initial: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
 	}
 	return s
 }
--- a/internal/decide/zones/zones.go
+++ b/internal/decide/zones/zones.go
@@ -137,7 +137,7 @@
 type zone struct {
 	state  State
 	ready  int // endpoints
-	limit  *concurrency.Limit
+	limit  *concurrency.Limiter
 	flight int // attempts in flight, those of others' traffic included
 	guests int // of these, others' traffic
 
@@ -182,8 +182,8 @@
 	}
 	for i := range t.zones {
 		z := &t.zones[i]
-		l, err := concurrency.New(concurrency.Settings{Classes: len(s.Classes), Least: s.Least, Most: s.Most, First: min(s.Most, max(s.Least, firstOfAll/s.Instances)),
-			Seed: s.Seed + uint64(i), Grow: 1.0 / 16, Shrink: 1.0 / 8}) // what is spare must hardly wait
+		l, err := concurrency.New(concurrency.Settings{Classes: len(s.Classes), Min: s.Least, Max: s.Most, Initial: min(s.Most, max(s.Least, firstOfAll/s.Instances)),
+			Seed: s.Seed + uint64(i), GrowThreshold: 1.0 / 16, ShrinkThreshold: 1.0 / 8}) // what is spare must hardly wait
 		if err != nil {
 			return nil, err
 		}
@@ -297,7 +297,7 @@
 		return false
 	case Returning:
 		// An even part of the requests, and never more in flight than that part of what is known to fit.
-		if z.owed += z.share; z.owed < 1 || z.flight >= max(1, int(z.share*float64(z.limit.Value()))) {
+		if z.owed += z.share; z.owed < 1 || z.flight >= max(1, int(z.share*float64(z.limit.Limit()))) {
 			z.owed = min(z.owed, 1)
 			return false
 		}
@@ -306,12 +306,12 @@
 	}
 	// Its own requests may wait for one another a little before they go elsewhere: what is learned to fit shrinks also
 	// when others' traffic fills it, and that must give way first.
-	return float64(z.flight) < ownOver*float64(z.limit.Value())
+	return float64(z.flight) < ownOver*float64(z.limit.Limit())
 }
 
 // room says whether a zone has room to spare for a request of others' traffic.
 func (t *Table) room(z *zone, r Request) bool {
-	spare := t.s.SpillSpare * math.Max(0, float64(z.limit.Value()-(z.flight-z.guests)))
+	spare := t.s.SpillSpare * math.Max(0, float64(z.limit.Limit()-(z.flight-z.guests)))
 	rank := t.rank[r.Class]
 	if r.Excess {
 		rank = 1 // after all that is within a share
@@ -361,7 +361,7 @@
 		if z.flight >= silentLeast {
 			z.window.silentFrom = now
 		}
-		z.limit.Sample(now, o.Class, o.Took, o.InFlight, o.InFlight >= z.limit.Value())
+		z.limit.AddSample(now, o.Class, o.Took, o.InFlight, o.InFlight >= z.limit.Limit())
 	}
 	if o.Spill {
 		t.fared(now, z, o.Good)
@@ -400,9 +400,9 @@
 	case Lost:
 		return Lost, 0, 0
 	case Returning:
-		return Returning, z.share, z.limit.Value()
+		return Returning, z.share, z.limit.Limit()
 	}
-	return Up, 1, z.limit.Value()
+	return Up, 1, z.limit.Limit()
 }
 
 // step moves a zone on by what is known now.
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -375,8 +375,8 @@
 					t.Fatalf("%+v: %+v", r, a)
 				}
 				table.Sent(now, a.Zone, a.Spill)
-				if z := &table.zones[a.Zone]; a.Spill && float64(z.guests) > max(1, s.SpillSpare*float64(z.limit.Value())+1) {
-					t.Fatalf("%d guests of %d", z.guests, z.limit.Value())
+				if z := &table.zones[a.Zone]; a.Spill && float64(z.guests) > max(1, s.SpillSpare*float64(z.limit.Limit())+1) {
+					t.Fatalf("%d guests of %d", z.guests, z.limit.Limit())
 				}
 				flying = append(flying, out{a.Zone, a.Spill})
 			case len(flying) > 0:
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -48,7 +48,7 @@
 		if p.limit, err = concurrency.New(l); err != nil {
 			return err
 		}
-		s.Slots = p.limit.Value()
+		s.Slots = p.limit.Limit()
 	}
 	p.shares = fairqueue.New(fairqueue.Settings{InitialTimes: expect, MaxInFlight: s.Slots, Shared: p.engine.total})
 	return nil
@@ -90,7 +90,7 @@
 func (p *Pool) pump(now monotime.Micros) {
 	x := p.engine
 	if p.limit != nil {
-		p.shares.SetMaxInFlight(p.limit.Value())
+		p.shares.SetMaxInFlight(p.limit.Limit())
 	}
 	for {
 		d, ok := p.shares.Next(now)
@@ -139,7 +139,7 @@
 	p.shares.ObserveServiceTime(int(c.In.Class), took)
 	if p.limit != nil {
 		waiting, _ := p.shares.Counts()
-		p.limit.Sample(now, int(c.In.Class), took, c.inFlight, waiting > 0 || c.admitted > c.Arrived+waitedLeast)
+		p.limit.AddSample(now, int(c.In.Class), took, c.inFlight, waiting > 0 || c.admitted > c.Arrived+waitedLeast)
 	}
 }
 
@@ -152,7 +152,7 @@
 func (p *Pool) Counts() (waiting, inFlight, slots int) {
 	waiting, inFlight = p.shares.Counts()
 	if p.limit != nil {
-		slots = p.limit.Value()
+		slots = p.limit.Limit()
 	}
 	return waiting, inFlight, slots
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -40,8 +40,8 @@
 	balancer *balancer.Balancer
 
 	shares  *fairqueue.Scheduler
-	limit   *concurrency.Limit // nil where the number in flight is not learned
-	wake    *alarm             // for shares
+	limit   *concurrency.Limiter // nil where the number in flight is not learned
+	wake    *alarm               // for shares
 	wakeAt  monotime.Micros
 	touched bool
 	source  string
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -141,7 +141,7 @@
 	s := tenantSite(10, 1, 0)
 	s.Settings.Fields = []balancer.Field{balancer.FieldInflight, balancer.FieldServed, balancer.FieldUtil}
 	s.Settings.Contract.RampTime = 20 * second
-	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &concurrency.Settings{Least: 1, Most: 200, First: 20}}})
+	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &concurrency.Settings{Min: 1, Max: 200, Initial: 20}}})
 	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
 	err := x.Join(Together{Uses: uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 },
 		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
