--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -458,7 +458,7 @@
 // RestLimits returns the bounds on clients' connections.
 func (c *Config) RestLimits() connlimit.Limits {
 	n := &c.Connections
-	return connlimit.Limits{Total: n.Clients, AtRest: n.AtRest, IdleMost: n.RestMost.Micros(), IdleLeast: n.RestLeast.Micros()}
+	return connlimit.Limits{MaxConnections: n.Clients, MaxIdle: n.AtRest, MaxIdleTime: n.RestMost.Micros(), MinIdleTime: n.RestLeast.Micros()}
 }
 
 // Differs returns the tables that differ between two files and cannot be changed while a daemon serves: all but the
--- a/internal/decide/connlimit/conns.go
+++ b/internal/decide/connlimit/conns.go
@@ -22,127 +22,127 @@
 
 // Limits are the bounds of a Table. All must be positive but IdleLeast.
 type Limits struct {
-	Total  int // connections in all
-	AtRest int // those without an open request
+	MaxConnections int // connections in all
+	MaxIdle        int // those without an open request
 
 	// A connection may rest for IdleMost while no other rests, and for IdleLeast when AtRest are resting; in
 	// between the time falls evenly.
-	IdleMost, IdleLeast monotime.Micros
+	MaxIdleTime, MinIdleTime monotime.Micros
 }
 
 // Validate says which bound makes no sense.
 func (l Limits) Validate() error {
 	switch {
-	case l.Total < 1:
-		return fmt.Errorf("total %d: must be positive", l.Total)
-	case l.AtRest < 1 || l.AtRest > l.Total:
-		return fmt.Errorf("at rest %d: must be in 1..%d, the total", l.AtRest, l.Total)
-	case l.IdleMost < 1 || l.IdleLeast < 0 || l.IdleLeast > l.IdleMost:
-		return fmt.Errorf("idle %d..%d: must be a range that ends above 0", l.IdleLeast, l.IdleMost)
+	case l.MaxConnections < 1:
+		return fmt.Errorf("total %d: must be positive", l.MaxConnections)
+	case l.MaxIdle < 1 || l.MaxIdle > l.MaxConnections:
+		return fmt.Errorf("at rest %d: must be in 1..%d, the total", l.MaxIdle, l.MaxConnections)
+	case l.MaxIdleTime < 1 || l.MinIdleTime < 0 || l.MinIdleTime > l.MaxIdleTime:
+		return fmt.Errorf("idle %d..%d: must be a range that ends above 0", l.MinIdleTime, l.MaxIdleTime)
 	}
 	return nil
 }
 
 // Owner is whose connections are counted together.
 type Owner[T any] struct {
-	weight  float64
-	most    int
-	bytes   int64 // that its requests and answers may hold; 0 is no bound
-	held    int64
-	busy    int
-	resting *list.List // of *Conn[T], the one that has rested for longest first
-	place   int        // in Table.owners while any rests
+	weight         float64
+	maxConnections int
+	maxBytes       int64 // that its requests and answers may hold; 0 is no bound
+	reservedBytes  int64
+	busy           int
+	idle           *list.List // of *Conn[T], the one that has rested for longest first
+	index          int        // in Table.owners while any rests
 }
 
 // Conns returns how many connections o has, and how many of them have an open request.
-func (o *Owner[T]) Conns() (all, busy int) { return o.busy + o.resting.Len(), o.busy }
+func (o *Owner[T]) Connections() (all, busy int) { return o.busy + o.idle.Len(), o.busy }
 
 // Held returns how many bytes are held for o.
-func (o *Owner[T]) Held() int64 { return o.held }
+func (o *Owner[T]) ReservedBytes() int64 { return o.reservedBytes }
 
 // Conn is a connection in a Table.
 type Conn[T any] struct {
 	Value T // the host's
 
-	owner *Owner[T]
-	held  int64
-	since monotime.Micros // at rest since
-	place *list.Element   // in owner.resting; nil while a request is open
-	gone  bool            // the table holds it no more
+	owner         *Owner[T]
+	reservedBytes int64
+	idleSince     monotime.Micros // at rest since
+	idleElement   *list.Element   // in owner.resting; nil while a request is open
+	removed       bool            // the table holds it no more
 }
 
 // Table holds the connections of a server. Make one with New.
 type Table[T any] struct {
-	limits Limits
-	rests  func(T) bool
-	owners []*Owner[T] // those with connections at rest
-	busy   int
-	rest   int
-	all    map[*Conn[T]]struct{}
+	limits      Limits
+	confirmIdle func(T) bool
+	idleOwners  []*Owner[T] // those with connections at rest
+	busy        int
+	idle        int
+	connections map[*Conn[T]]struct{}
 }
 
 // New returns an empty table, or the error of limits that make no sense. rests is asked before a connection without an
 // open request is closed: if it says no, something has come that has not been looked at, and the connection counts as one
 // with an open request from then on. nil is always yes.
-func New[T any](l Limits, rests func(T) bool) (*Table[T], error) {
+func New[T any](l Limits, confirmIdle func(T) bool) (*Table[T], error) {
 	if err := l.Validate(); err != nil {
 		return nil, fmt.Errorf("conns: %w", err)
 	}
-	if rests == nil {
-		rests = func(T) bool { return true }
+	if confirmIdle == nil {
+		confirmIdle = func(T) bool { return true }
 	}
-	return &Table[T]{limits: l, rests: rests, all: map[*Conn[T]]struct{}{}}, nil
+	return &Table[T]{limits: l, confirmIdle: confirmIdle, connections: map[*Conn[T]]struct{}{}}, nil
 }
 
 // Owner returns a new owner of at most so many connections, and of so many bytes held; 0 bytes is no bound. Where
 // connections at rest must make room, the owner with the most of them for its weight gives way.
-func (t *Table[T]) Owner(weight float64, most int, bytes int64) *Owner[T] {
-	return &Owner[T]{weight: weight, most: most, bytes: bytes, resting: list.New()}
+func (t *Table[T]) NewOwner(weight float64, maxConnections int, maxBytes int64) *Owner[T] {
+	return &Owner[T]{weight: weight, maxConnections: maxConnections, maxBytes: maxBytes, idle: list.New()}
 }
 
 // Change gives an owner another weight and bounds. What it has stays.
-func (t *Table[T]) Change(o *Owner[T], weight float64, most int, bytes int64) {
-	o.weight, o.most, o.bytes = weight, most, bytes
+func (t *Table[T]) UpdateOwner(o *Owner[T], weight float64, maxConnections int, maxBytes int64) {
+	o.weight, o.maxConnections, o.maxBytes = weight, maxConnections, maxBytes
 }
 
 // Len returns how many connections the table holds, and how many of them have an open request.
-func (t *Table[T]) Len() (all, busy int) { return t.busy + t.rest, t.busy }
+func (t *Table[T]) Len() (all, busy int) { return t.busy + t.idle, t.busy }
 
 // Open takes in a new connection of o, which rests until its first request is whole. It returns the connection
 // that is to be closed to make room, if any. Where none can make room the new one is not taken in: it is nil.
-func (t *Table[T]) Open(now monotime.Micros, o *Owner[T], value T) (c, closed *Conn[T]) {
+func (t *Table[T]) Add(now monotime.Micros, o *Owner[T], value T) (c, evicted *Conn[T]) {
 	switch {
-	case o.busy+o.resting.Len() >= o.most:
-		for closed = t.oldest(o); closed != nil && !t.rests(closed.Value); closed = t.oldest(o) {
-			t.Take(closed)
+	case o.busy+o.idle.Len() >= o.maxConnections:
+		for evicted = t.longestIdle(o); evicted != nil && !t.confirmIdle(evicted.Value); evicted = t.longestIdle(o) {
+			t.MarkBusy(evicted)
 		}
-		if closed == nil {
+		if evicted == nil {
 			return nil, nil
 		}
-	case t.busy+t.rest >= t.limits.Total || t.rest >= t.limits.AtRest:
+	case t.busy+t.idle >= t.limits.MaxConnections || t.idle >= t.limits.MaxIdle:
 		// Only one at rest can make room. If there is none, all are waiting for their answers.
-		closed = t.Spare()
-		if closed == nil && t.busy+t.rest >= t.limits.Total {
+		evicted = t.Evictable()
+		if evicted == nil && t.busy+t.idle >= t.limits.MaxConnections {
 			return nil, nil
 		}
 	}
-	if closed != nil {
-		t.Close(closed)
+	if evicted != nil {
+		t.Remove(evicted)
 	}
 	c = &Conn[T]{Value: value, owner: o}
-	t.all[c] = struct{}{}
-	t.lay(now, c)
-	return c, closed
+	t.connections[c] = struct{}{}
+	t.addIdle(now, c)
+	return c, evicted
 }
 
 // Take notes that a request is open on c, unless c has been closed meanwhile: then it says no, and the request
 // has not been taken.
-func (t *Table[T]) Take(c *Conn[T]) bool {
-	if c.gone {
+func (t *Table[T]) MarkBusy(c *Conn[T]) bool {
+	if c.removed {
 		return false
 	}
-	if c.place != nil { // else it was seen to come before
-		t.lift(c)
+	if c.idleElement != nil { // else it was seen to come before
+		t.removeIdle(c)
 		c.owner.busy++
 		t.busy++
 	}
@@ -151,47 +151,47 @@
 
 // Hold notes that n bytes more are held for c, until it rests or is closed. If that is beyond what its owner may
 // hold it says no and notes nothing, unless they must be held all the same, as an answer that has come.
-func (t *Table[T]) Hold(c *Conn[T], n int64, must bool) bool {
+func (t *Table[T]) ReserveBytes(c *Conn[T], n int64, force bool) bool {
 	o := c.owner
-	if c.gone || !must && o.bytes > 0 && o.held+n > o.bytes {
+	if c.removed || !force && o.maxBytes > 0 && o.reservedBytes+n > o.maxBytes {
 		return false
 	}
-	c.held += n
-	o.held += n
+	c.reservedBytes += n
+	o.reservedBytes += n
 	return true
 }
 
 // release notes that nothing is held for c any more.
-func (t *Table[T]) release(c *Conn[T]) {
-	c.owner.held -= c.held
-	c.held = 0
+func (t *Table[T]) releaseBytes(c *Conn[T]) {
+	c.owner.reservedBytes -= c.reservedBytes
+	c.reservedBytes = 0
 }
 
 // Rest notes that the request on c has its answer. It returns the connection that is to be closed for that, if
 // too many rest now.
-func (t *Table[T]) Rest(now monotime.Micros, c *Conn[T]) (closed *Conn[T]) {
+func (t *Table[T]) MarkIdle(now monotime.Micros, c *Conn[T]) (evicted *Conn[T]) {
 	c.owner.busy--
 	t.busy--
-	t.release(c)
-	if t.rest >= t.limits.AtRest {
-		if closed = t.Spare(); closed != nil {
-			t.Close(closed)
+	t.releaseBytes(c)
+	if t.idle >= t.limits.MaxIdle {
+		if evicted = t.Evictable(); evicted != nil {
+			t.Remove(evicted)
 		}
 	}
-	t.lay(now, c)
-	return closed
+	t.addIdle(now, c)
+	return evicted
 }
 
 // Close forgets a connection. It may be called again.
-func (t *Table[T]) Close(c *Conn[T]) {
-	if c.gone {
+func (t *Table[T]) Remove(c *Conn[T]) {
+	if c.removed {
 		return
 	}
-	c.gone = true
-	delete(t.all, c)
-	t.release(c)
-	if c.place != nil {
-		t.lift(c)
+	c.removed = true
+	delete(t.connections, c)
+	t.releaseBytes(c)
+	if c.idleElement != nil {
+		t.removeIdle(c)
 	} else {
 		c.owner.busy--
 		t.busy--
@@ -200,15 +200,15 @@
 
 // Each calls f for each connection, in no order.
 func (t *Table[T]) Each(f func(*Conn[T])) {
-	for c := range t.all {
+	for c := range t.connections {
 		f(c)
 	}
 }
 
 // Resting calls f for each connection without an open request, the longest at rest of each owner first.
-func (t *Table[T]) Resting(f func(*Conn[T])) {
-	for _, o := range slices.Clone(t.owners) {
-		for at := o.resting.Front(); at != nil; {
+func (t *Table[T]) EachIdle(f func(*Conn[T])) {
+	for _, o := range slices.Clone(t.idleOwners) {
+		for at := o.idle.Front(); at != nil; {
 			c := at.Value.(*Conn[T])
 			at = at.Next()
 			f(c)
@@ -218,23 +218,23 @@
 
 // Spare returns the connection that can best be done without, nil if each has an open request: of the owner
 // with the most at rest for its weight, the one that has rested for longest.
-func (t *Table[T]) Spare() *Conn[T] {
+func (t *Table[T]) Evictable() *Conn[T] {
 	for {
-		best := t.best()
-		if best == nil || t.rests(best.Value) {
+		best := t.evictionCandidate()
+		if best == nil || t.confirmIdle(best.Value) {
 			return best
 		}
-		t.Take(best)
+		t.MarkBusy(best)
 	}
 }
 
-func (t *Table[T]) best() *Conn[T] {
+func (t *Table[T]) evictionCandidate() *Conn[T] {
 	var best *Conn[T]
-	var most float64
-	for _, o := range t.owners {
-		c, n := t.oldest(o), float64(o.resting.Len())/o.weight
-		if best == nil || n > most || n == most && c.since < best.since {
-			best, most = c, n
+	var maxIdleRatio float64
+	for _, o := range t.idleOwners {
+		c, n := t.longestIdle(o), float64(o.idle.Len())/o.weight
+		if best == nil || n > maxIdleRatio || n == maxIdleRatio && c.idleSince < best.idleSince {
+			best, maxIdleRatio = c, n
 		}
 	}
 	return best
@@ -242,64 +242,64 @@
 
 // Expired returns a connection that has rested for too long and forgets it, or nil and the instant at which
 // the next one will have, if nothing happens until then; that is 0 while none rests.
-func (t *Table[T]) Expired(now monotime.Micros) (closed *Conn[T], next monotime.Micros) {
+func (t *Table[T]) RemoveExpired(now monotime.Micros) (expired *Conn[T], next monotime.Micros) {
 	for {
-		closed = nil
-		for _, o := range t.owners {
-			if c := t.oldest(o); closed == nil || c.since < closed.since {
-				closed = c
+		expired = nil
+		for _, o := range t.idleOwners {
+			if c := t.longestIdle(o); expired == nil || c.idleSince < expired.idleSince {
+				expired = c
 			}
 		}
-		if closed == nil {
+		if expired == nil {
 			return nil, 0
 		}
-		if idle := t.idle(); closed.since+idle > now {
-			return nil, closed.since + idle
+		if idle := t.idleTimeout(); expired.idleSince+idle > now {
+			return nil, expired.idleSince + idle
 		}
-		if t.rests(closed.Value) {
-			t.Close(closed)
-			return closed, 0
+		if t.confirmIdle(expired.Value) {
+			t.Remove(expired)
+			return expired, 0
 		}
-		t.Take(closed)
+		t.MarkBusy(expired)
 	}
 }
 
 // idle is how long a connection may rest at present.
-func (t *Table[T]) idle() monotime.Micros {
-	free := 1 - float64(t.rest)/float64(t.limits.AtRest)
-	return t.limits.IdleLeast + monotime.Micros(free*float64(t.limits.IdleMost-t.limits.IdleLeast))
+func (t *Table[T]) idleTimeout() monotime.Micros {
+	free := 1 - float64(t.idle)/float64(t.limits.MaxIdle)
+	return t.limits.MinIdleTime + monotime.Micros(free*float64(t.limits.MaxIdleTime-t.limits.MinIdleTime))
 }
 
-func (t *Table[T]) oldest(o *Owner[T]) *Conn[T] {
-	if first := o.resting.Front(); first != nil {
+func (t *Table[T]) longestIdle(o *Owner[T]) *Conn[T] {
+	if first := o.idle.Front(); first != nil {
 		return first.Value.(*Conn[T])
 	}
 	return nil
 }
 
 // lay puts c among those at rest.
-func (t *Table[T]) lay(now monotime.Micros, c *Conn[T]) {
-	c.since = now
+func (t *Table[T]) addIdle(now monotime.Micros, c *Conn[T]) {
+	c.idleSince = now
 	o := c.owner
-	if o.resting.Len() == 0 {
-		o.place = len(t.owners)
-		t.owners = append(t.owners, o)
+	if o.idle.Len() == 0 {
+		o.index = len(t.idleOwners)
+		t.idleOwners = append(t.idleOwners, o)
 	}
-	c.place = o.resting.PushBack(c)
-	t.rest++
+	c.idleElement = o.idle.PushBack(c)
+	t.idle++
 }
 
 // lift takes c from among those at rest.
-func (t *Table[T]) lift(c *Conn[T]) {
+func (t *Table[T]) removeIdle(c *Conn[T]) {
 	o := c.owner
-	o.resting.Remove(c.place)
-	c.place = nil
-	t.rest--
-	if o.resting.Len() == 0 {
-		last := len(t.owners) - 1
-		t.owners[o.place] = t.owners[last]
-		t.owners[o.place].place = o.place
-		t.owners[last] = nil
-		t.owners = t.owners[:last]
+	o.idle.Remove(c.idleElement)
+	c.idleElement = nil
+	t.idle--
+	if o.idle.Len() == 0 {
+		last := len(t.idleOwners) - 1
+		t.idleOwners[o.index] = t.idleOwners[last]
+		t.idleOwners[o.index].index = o.index
+		t.idleOwners[last] = nil
+		t.idleOwners = t.idleOwners[:last]
 	}
 }
--- a/internal/frontend/http1/conns.go
+++ b/internal/frontend/http1/conns.go
@@ -108,7 +108,7 @@
 				k.log.Warn("accept", "error", err)
 			}
 			k.mu.Lock()
-			k.closeLocked(k.table.Spare())
+			k.closeLocked(k.table.Evictable())
 			k.mu.Unlock()
 			time.Sleep(wait)
 			wait = min(2*wait, acceptWaitMost)
@@ -168,7 +168,7 @@
 	c.limit.R = c.in
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	place, spare := k.table.Open(k.clock.Now(), client.owner, c)
+	place, spare := k.table.Add(k.clock.Now(), client.owner, c)
 	k.closeLocked(spare)
 	if place == nil {
 		nc.Close() // all others are waiting for their answers
@@ -214,7 +214,7 @@
 
 func (k *connections) closeLocked(place *connlimit.Conn[*conn]) {
 	if place != nil {
-		k.table.Close(place)
+		k.table.Remove(place)
 		place.Value.Close()
 	}
 }
@@ -229,7 +229,7 @@
 func (k *connections) expireLocked() {
 	now := k.clock.Now()
 	for {
-		c, next := k.table.Expired(now)
+		c, next := k.table.RemoveExpired(now)
 		if c == nil {
 			if next > 0 {
 				k.idle.Reset(clock.Duration(next - now))
@@ -245,7 +245,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c.begun = false
-	return k.table.Take(c.place)
+	return k.table.MarkBusy(c.place)
 }
 
 // hold notes that n bytes more are held for a connection, if its client may hold them; if they must be held, it
@@ -253,7 +253,7 @@
 func (k *connections) hold(c *conn, n int64, must bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Hold(c.place, n, must)
+	return k.table.ReserveBytes(c.place, n, must)
 }
 
 // rest notes that a request has its answer, and says whether the connection may stay open. While all are to close it may for
@@ -262,7 +262,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c.in.rest(c.r != nil && c.r.Buffered() > 0)
-	k.closeLocked(k.table.Rest(k.clock.Now(), c.place))
+	k.closeLocked(k.table.MarkIdle(k.clock.Now(), c.place))
 	k.expireLocked()
 	return !k.closing || !c.in.empty()
 }
@@ -281,7 +281,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
-	for c := k.table.Spare(); c != nil; c = k.table.Spare() {
+	for c := k.table.Evictable(); c != nil; c = k.table.Evictable() {
 		k.closeLocked(c)
 	}
 }
@@ -323,7 +323,7 @@
 		return
 	}
 	k.releases++
-	k.table.Resting(func(p *connlimit.Conn[*conn]) {
+	k.table.EachIdle(func(p *connlimit.Conn[*conn]) {
 		if c := p.Value; c.parked {
 			c.called = true
 			c.SetReadDeadline(past)
--- a/internal/frontend/http1/conns_test.go
+++ b/internal/frontend/http1/conns_test.go
@@ -15,7 +15,7 @@
 func TestHandingOverTakenBackAtOnce(t *testing.T) {
 	said := make(chan byte, 1)
 	var k *connections
-	k, err := newConnections(connlimit.Limits{Total: 2, AtRest: 2, IdleMost: 1e9}, clock.New(), func(c *conn) {
+	k, err := newConnections(connlimit.Limits{MaxConnections: 2, MaxIdle: 2, MaxIdleTime: 1e9}, clock.New(), func(c *conn) {
 		for {
 			var b [1]byte // as exchange does, the deadline that ended the wait is replaced
 			if !k.park(c, time.Time{}) {
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	owner := &Client{owner: k.table.Owner(1, 2, 0)}
+	owner := &Client{owner: k.table.NewOwner(1, 2, 0)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -57,7 +57,7 @@
 			k.mu.Lock()
 			defer k.mu.Unlock()
 			n := 0
-			k.table.Resting(func(p *connlimit.Conn[*conn]) {
+			k.table.EachIdle(func(p *connlimit.Conn[*conn]) {
 				if p.Value.parked {
 					n++
 				}
@@ -91,7 +91,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			step, over := make(chan *conn, 2), make(chan struct{})
-			k, err := newConnections(connlimit.Limits{Total: 4, AtRest: 1, IdleMost: 1e9, IdleLeast: 1e9}, clock.New(), func(c *conn) {
+			k, err := newConnections(connlimit.Limits{MaxConnections: 4, MaxIdle: 1, MaxIdleTime: 1e9, MinIdleTime: 1e9}, clock.New(), func(c *conn) {
 				if tc.read {
 					b := make([]byte, 100)
 					if _, err := c.in.Read(b); err != nil {
@@ -107,7 +107,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			owner := &Client{owner: k.table.Owner(1, 4, 0)}
+			owner := &Client{owner: k.table.NewOwner(1, 4, 0)}
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -139,7 +139,7 @@
 			}
 			defer enter().Close()
 			k.mu.Lock()
-			closed := !k.table.Take(c.place)
+			closed := !k.table.MarkBusy(c.place)
 			k.mu.Unlock()
 			if closed == tc.stays {
 				t.Errorf("closed: %v", closed)
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -85,7 +85,7 @@
 	c := &Client{Name: s.Name, share: share}
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	c.owner = f.conns.table.Owner(s.Weight, f.most(s), s.Bytes)
+	c.owner = f.conns.table.NewOwner(s.Weight, f.most(s), s.Bytes)
 	return c, nil
 }
 
@@ -96,7 +96,7 @@
 	}
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	f.conns.table.Change(c.owner, s.Weight, f.most(s), s.Bytes)
+	f.conns.table.UpdateOwner(c.owner, s.Weight, f.most(s), s.Bytes)
 	return nil
 }
 
@@ -104,7 +104,7 @@
 	if s.Connections > 0 {
 		return s.Connections
 	}
-	return f.o.Limits.Total
+	return f.o.Limits.MaxConnections
 }
 
 // Held returns how many connections a client has, how many of them have an open request, and how many bytes are
@@ -112,8 +112,8 @@
 func (f *Front) Held(c *Client) (all, busy int, bytes int64) {
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	all, busy = c.owner.Conns()
-	return all, busy, c.owner.Held()
+	all, busy = c.owner.Connections()
+	return all, busy, c.owner.ReservedBytes()
 }
 
 // Conns returns how many connections there are, and how many of them have an open request.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -417,7 +417,7 @@
 	}()
 	scriptedpeer.Within(t, taken, "attempt")
 	var silent []net.Conn
-	for range 2 * clientLimits(cfg.Sockets).Total {
+	for range 2 * clientLimits(cfg.Sockets).MaxConnections {
 		silent = append(silent, dial())
 	}
 	kept := dial()
@@ -479,8 +479,8 @@
 	cfg := configure(t, scriptedpeer.Nowhere(t), many)
 	cfg.Sockets = 2 * platform.LeastSockets
 	limits := clientLimits(cfg.Sockets)
-	if 4*limits.AtRest > cfg.Sockets {
-		t.Fatalf("%d of %d descriptors may rest: not well under the third that clients have", limits.AtRest, cfg.Sockets)
+	if 4*limits.MaxIdle > cfg.Sockets {
+		t.Fatalf("%d of %d descriptors may rest: not well under the third that clients have", limits.MaxIdle, cfg.Sockets)
 	}
 	s := start(t, cfg)
 	dial := func() net.Conn {
@@ -492,7 +492,7 @@
 		return c
 	}
 	var stayed []net.Conn
-	for range 2 * limits.AtRest {
+	for range 2 * limits.MaxIdle {
 		c := dial()
 		if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 || resp.Close {
 			t.Fatalf("%s, close %v", resp.Status, resp.Close)
@@ -500,7 +500,7 @@
 		stayed = append(stayed, c)
 	}
 	// The earliest are closed at once, not after the idle time.
-	for i, c := range stayed[:limits.AtRest] {
+	for i, c := range stayed[:limits.MaxIdle] {
 		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
 			t.Fatalf("connection %d: %v, want it closed", i, err)
@@ -508,12 +508,12 @@
 	}
 	// The others follow far sooner than one connection alone would.
 	began := time.Now()
-	stayed[limits.AtRest].SetReadDeadline(began.Add(idleMost / 2))
-	if _, err := stayed[limits.AtRest].Read(make([]byte, 1)); err != io.EOF {
+	stayed[limits.MaxIdle].SetReadDeadline(began.Add(idleMost / 2))
+	if _, err := stayed[limits.MaxIdle].Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("among as many as may rest: %v, want it closed", err)
 	}
-	codes := make(chan int, limits.Total)
-	for range limits.Total {
+	codes := make(chan int, limits.MaxConnections)
+	for range limits.MaxConnections {
 		c := dial()
 		go func() {
 			resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
@@ -522,7 +522,7 @@
 		scriptedpeer.Within(t, taken, "an attempt of each that is open")
 	}
 	free()
-	for range limits.Total {
+	for range limits.MaxConnections {
 		if code := scriptedpeer.Within(t, codes, "answer"); code != 200 {
 			t.Errorf("of those open together: %d", code)
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -63,12 +63,14 @@
 // clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
 // connections to endpoints: an open request has one of each, and probes and second attempts want more.
 func clientLimits(sockets int) connlimit.Limits {
-	return connlimit.Limits{Total: (sockets - ownSockets) / 2, AtRest: (sockets - ownSockets) / restPart,
-		IdleMost: clock.Micros(idleMost), IdleLeast: clock.Micros(idleLeast)}
+	return connlimit.Limits{MaxConnections: (sockets - ownSockets) / 2, MaxIdle: (sockets - ownSockets) / restPart,
+		MaxIdleTime: clock.Micros(idleMost), MinIdleTime: clock.Micros(idleLeast)}
 }
 
 // upstreamConns is how many connections to endpoints may be open.
-func upstreamConns(sockets int) int { return sockets - ownSockets - clientLimits(sockets).Total }
+func upstreamConns(sockets int) int {
+	return sockets - ownSockets - clientLimits(sockets).MaxConnections
+}
 
 // Run serves until stop ends, or another process has taken over, then finishes what it has taken and returns. At each
 // signal of reload it reads the configuration again.
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -124,7 +124,7 @@
 			return err
 		}
 		in.clients = append(in.clients, c)
-		in.owners = append(in.owners, in.table.Owner(spec.Weight, math.MaxInt, 0))
+		in.owners = append(in.owners, in.table.NewOwner(spec.Weight, math.MaxInt, 0))
 		in.resting = append(in.resting, nil)
 	}
 	in.open, in.listed = nil, false
@@ -237,7 +237,7 @@
 	now := in.local()
 	p := t.story.Process
 	for {
-		c, _ := in.table.Expired(now)
+		c, _ := in.table.RemoveExpired(now)
 		if c == nil {
 			break
 		}
@@ -247,7 +247,7 @@
 		t.conn = rest[len(rest)-1]
 		in.resting[p] = rest[:len(rest)-1]
 	} else {
-		c, closed := in.table.Open(now, in.owners[p], &clientConn{p})
+		c, closed := in.table.Add(now, in.owners[p], &clientConn{p})
 		if closed != nil {
 			in.drop(closed)
 		}
@@ -256,7 +256,7 @@
 		}
 		t.conn = c
 	}
-	return in.table.Take(t.conn)
+	return in.table.MarkBusy(t.conn)
 }
 
 // drop forgets a client's connection that was closed at rest.
@@ -294,7 +294,7 @@
 func (in *instance) left(t *try) {
 	if !t.has {
 		in.close(t)
-		in.table.Close(t.conn)
+		in.table.Remove(t.conn)
 		in.record(t, true)
 	}
 	in.engine.Leave(in.local(), &t.call)
@@ -364,7 +364,7 @@
 	in.close(t)
 	in.record(t, false)
 	if t.conn != nil {
-		if closed := in.table.Rest(in.local(), t.conn); closed != nil {
+		if closed := in.table.MarkIdle(in.local(), t.conn); closed != nil {
 			in.drop(closed)
 		}
 		p := t.conn.Value.process
--- a/internal/simulation/model_test.go
+++ b/internal/simulation/model_test.go
@@ -73,7 +73,7 @@
 		Goal: balancer.Goal{Whole: 1}}
 	return &Settings{Site: siteconfig.Site{Settings: s, Classes: []string{"look", "book", "sell"}, Tenants: []string{"p"}, Zones: []string{"x", "y"}, Kinds: []string{"n"},
 		KeepAlive: 15 * time.Second}, Sharing: engine.Sharing{Open: 1000, Adaptive: &concurrency.Settings{Min: 4, Max: 500, Initial: 16}},
-		Clients: connlimit.Limits{Total: 500, AtRest: 100, IdleMost: 15 * second, IdleLeast: second / 10}, Client: fairqueue.ClientSpec{Weight: 1}}
+		Clients: connlimit.Limits{MaxConnections: 500, MaxIdle: 100, MaxIdleTime: 15 * second, MinIdleTime: second / 10}, Client: fairqueue.ClientSpec{Weight: 1}}
 }
 
 func play(t *testing.T, events string, seed uint64, s *Settings, trace func(Trace)) *measure.Result {
