--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -81,7 +81,7 @@
 		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
 		c := engine.PoolConfig{Known: endpointsource.Listed(o.Nodes, "a", 0), Listed: true, Watch: func(bool) {}}
 		if o.Subset > 0 {
-			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, Least: o.Subset, Probes: o.NodeProbes, IdleConnections: o.NodeIdle}
+			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, MinMembers: o.Subset, EndpointProbes: o.NodeProbes, EndpointIdleConnections: o.NodeIdle}
 			c.Rest = func(n float64) { in.up.Rest("", n) }
 		}
 		var err error
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -215,9 +215,9 @@
 	if f.Subset == 0 && f.NodeProbes == 0 && f.NodeIdle == 0 {
 		return nil
 	}
-	s := &subset.Settings{Position: uint64(f.Position), Instances: f.Instances, Least: f.Subset, Probes: f.NodeProbes, IdleConnections: f.NodeIdle}
+	s := &subset.Settings{Position: uint64(f.Position), Instances: f.Instances, MinMembers: f.Subset, EndpointProbes: f.NodeProbes, EndpointIdleConnections: f.NodeIdle}
 	if f.Subset == 0 {
-		s.Least = math.MaxInt32
+		s.MinMembers = math.MaxInt32
 	}
 	return s
 }
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -24,39 +24,39 @@
 
 // Settings are what a Set needs.
 type Settings struct {
-	Position  uint64 // of this instance in the fleet, from 0. Where none is told, a hash of its name: less even, as chance is
-	Instances int    // in the fleet, about; 0 is not known, and then nothing is divided
-	Least     int    // members at least, where there are so many: fewer leave no choice and no second try elsewhere
-	Seed      uint64 // of what is left to chance: when to widen and to narrow
+	Position   uint64 // of this instance in the fleet, from 0. Where none is told, a hash of its name: less even, as chance is
+	Instances  int    // in the fleet, about; 0 is not known, and then nothing is divided
+	MinMembers int    // members at least, where there are so many: fewer leave no choice and no second try elsewhere
+	Seed       uint64 // of what is left to chance: when to widen and to narrow
 
 	// What one node has for all instances together. 0 is no bound.
-	IdleConnections float64 // held at rest
-	Probes          float64 // a second
+	EndpointIdleConnections float64 // held at rest
+	EndpointProbes          float64 // a second
 }
 
 // Error says which setting makes no sense.
-type Error struct{ Key, Reason string }
+type SettingError struct{ Key, Reason string }
 
 // Error tells the key and the reason.
-func (e *Error) Error() string { return e.Key + ": " + e.Reason }
+func (e *SettingError) Error() string { return e.Key + ": " + e.Reason }
 
 // Validate returns an *Error for the first setting that makes no sense.
 func (s Settings) Validate() error {
-	if s.Least < 1 {
-		return &Error{"least", fmt.Sprintf("%d: at least one endpoint is needed", s.Least)}
+	if s.MinMembers < 1 {
+		return &SettingError{"least", fmt.Sprintf("%d: at least one endpoint is needed", s.MinMembers)}
 	}
 	if s.Instances < 0 {
-		return &Error{"instances", fmt.Sprintf("%d is negative", s.Instances)}
+		return &SettingError{"instances", fmt.Sprintf("%d is negative", s.Instances)}
 	}
 	for _, b := range []struct {
 		key string
 		v   float64
-	}{{"idle_connections", s.IdleConnections}, {"probes", s.Probes}} {
+	}{{"idle_connections", s.EndpointIdleConnections}, {"probes", s.EndpointProbes}} {
 		if !(b.v >= 0) || math.IsInf(b.v, 0) {
-			return &Error{b.key, fmt.Sprintf("%v: must be a number from 0 on", b.v)}
+			return &SettingError{b.key, fmt.Sprintf("%v: must be a number from 0 on", b.v)}
 		}
 		if b.v > 0 && s.Instances == 0 {
-			return &Error{b.key, "is divided over the fleet's instances, and their number is not set"}
+			return &SettingError{b.key, "is divided over the fleet's instances, and their number is not set"}
 		}
 	}
 	return nil
@@ -76,39 +76,39 @@
 }
 
 const (
-	widenAt    = 0.5         // part of the arc's weight that is well, below which the arc doubles
-	narrowAt   = 0.8         // and from which on, at half its length, it may be halved again
-	widenPause = second      // mean time from one widening to the next: so many at once are no herd
-	narrowCalm = 10 * second // mean time for which all must have been well before it narrows
+	widenBelowHealthy  = 0.5         // part of the arc's weight that is well, below which the arc doubles
+	narrowAboveHealthy = 0.8         // and from which on, at half its length, it may be halved again
+	widenInterval      = second      // mean time from one widening to the next: so many at once are no herd
+	narrowInterval     = 10 * second // mean time for which all must have been well before it narrows
 
 	// The load band is that of Finagle's aperture (com.twitter.finagle.loadbalancer.aperture, its default of 0.5 to 2.0): own
 	// requests in flight for each member. The halves of a wide arc hold twice as many each, so that one step does not call
 	// for the next.
-	loadLow   = 0.5
-	loadHigh  = 2.0
-	loadPause = second / 5 // mean time to a step that own load calls for: nobody else makes it for the same reason
+	minLoadPerMember = 0.5
+	maxLoadPerMember = 2.0
+	loadStepInterval = second / 5 // mean time to a step that own load calls for: nobody else makes it for the same reason
 )
 
 // Set is the members of one instance. Make one with New.
 type Set struct {
-	s      Settings
-	rng    uint64
-	ring   []placed
-	total  float64
-	unwell map[string]bool
-	steps  int             // how often the arc is doubled
-	wake   monotime.Micros // when to make the next step; 0 is never
-	wider  bool            // that step is one wider
-	load   float64         // own requests in flight, on the mean of some seconds
-	member []Member
+	settings       Settings
+	randState      uint64
+	ring           []ringEntry
+	totalWeight    float64
+	unhealthy      map[string]bool
+	doublings      int             // how often the arc is doubled
+	nextStepAt     monotime.Micros // when to make the next step; 0 is never
+	nextStepWidens bool            // that step is one wider
+	load           float64         // own requests in flight, on the mean of some seconds
+	members        []Member
 }
 
 // placed is an endpoint on the ring.
-type placed struct {
+type ringEntry struct {
 	Endpoint
-	hash  uint64
-	order float64 // by which the ring is sorted
-	from  float64 // where it begins, in weight
+	hash    uint64
+	sortKey float64 // by which the ring is sorted
+	start   float64 // where it begins, in weight
 }
 
 // New returns a set without members, or an *Error.
@@ -116,32 +116,32 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	return &Set{s: s, rng: mix(s.Seed ^ 0x5eed), unwell: map[string]bool{}}, nil
+	return &Set{settings: s, randState: mix64(s.Seed ^ 0x5eed), unhealthy: map[string]bool{}}, nil
 }
 
 // arcs is into how many the ring is cut: a power of two, so that a list that grows or shrinks by a few hardly ever
 // changes it. Each arc then has Least to twice as many members.
-func (x *Set) arcs() uint64 {
+func (x *Set) arcCount() uint64 {
 	n := uint64(1)
-	for 2*n*uint64(x.size()) <= uint64(len(x.ring)) {
+	for 2*n*uint64(x.targetSize()) <= uint64(len(x.ring)) {
 		n *= 2
 	}
 	return n
 }
 
 // size is how many members the instance wants: more than Least only while nodes have room for that much held at rest.
-func (x *Set) size() int {
-	if x.s.IdleConnections == 0 {
-		return x.s.Least
+func (x *Set) targetSize() int {
+	if x.settings.EndpointIdleConnections == 0 {
+		return x.settings.MinMembers
 	}
-	return max(x.s.Least, int(x.s.IdleConnections*float64(len(x.ring))/float64(x.s.Instances)))
+	return max(x.settings.MinMembers, int(x.settings.EndpointIdleConnections*float64(len(x.ring))/float64(x.settings.Instances)))
 }
 
 // List takes the whole list. Entries whose IDs are empty or told before are passed over.
-func (x *Set) List(now monotime.Micros, list []Endpoint) {
+func (x *Set) SetEndpoints(now monotime.Micros, endpoints []Endpoint) {
 	x.ring = x.ring[:0]
 	known := map[string]bool{}
-	for _, e := range list {
+	for _, e := range endpoints {
 		if e.ID == "" || known[e.ID] {
 			continue
 		}
@@ -149,30 +149,30 @@
 		if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 			e.Weight = 1
 		}
-		x.ring = append(x.ring, placed{Endpoint: e})
+		x.ring = append(x.ring, ringEntry{Endpoint: e})
 	}
-	for id := range x.unwell {
+	for id := range x.unhealthy {
 		if !known[id] {
-			delete(x.unwell, id)
+			delete(x.unhealthy, id)
 		}
 	}
-	x.lay()
-	x.look(now, false)
+	x.buildRing()
+	x.update(now, false)
 }
 
 // lay puts the endpoints on the ring of this instance's lot: those of each zone in the order of their hashes, spread
 // evenly over the ring, so that any arc has of every zone its part.
-func (x *Set) lay() {
-	lot := mix(x.s.Position / x.arcs())
+func (x *Set) buildRing() {
+	shuffle := mix64(x.settings.Position / x.arcCount())
 	zones := map[int]float64{}
-	x.total = 0
+	x.totalWeight = 0
 	for i := range x.ring {
 		p := &x.ring[i]
-		p.hash = mix(lot ^ text(p.ID))
+		p.hash = mix64(shuffle ^ hashString(p.ID))
 		zones[p.Zone] += p.Weight
-		x.total += p.Weight
+		x.totalWeight += p.Weight
 	}
-	byHash := func(a, b placed) int {
+	byHash := func(a, b ringEntry) int {
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
 	}
 	slices.SortFunc(x.ring, byHash)
@@ -182,135 +182,137 @@
 		if i == 0 || p.Zone != x.ring[i-1].Zone {
 			sum = 0
 		}
-		p.order = (sum + p.Weight/2) / zones[p.Zone]
+		p.sortKey = (sum + p.Weight/2) / zones[p.Zone]
 		sum += p.Weight
 	}
-	slices.SortFunc(x.ring, func(a, b placed) int { return cmp.Or(cmp.Compare(a.order, b.order), byHash(a, b)) })
+	slices.SortFunc(x.ring, func(a, b ringEntry) int { return cmp.Or(cmp.Compare(a.sortKey, b.sortKey), byHash(a, b)) })
 	sum = 0
 	for i := range x.ring {
-		x.ring[i].from = sum
+		x.ring[i].start = sum
 		sum += x.ring[i].Weight
 	}
 }
 
 // Unwell tells that an endpoint fails, drains or is full, or no longer. It is whoever knows outcomes that says so.
-func (x *Set) Unwell(now monotime.Micros, id string, yes bool) {
-	if x.unwell[id] == yes {
+func (x *Set) SetUnhealthy(now monotime.Micros, id string, unhealthy bool) {
+	if x.unhealthy[id] == unhealthy {
 		return
 	}
-	if yes {
-		x.unwell[id] = true
+	if unhealthy {
+		x.unhealthy[id] = true
 	} else {
-		delete(x.unwell, id)
+		delete(x.unhealthy, id)
 	}
-	x.look(now, false)
+	x.update(now, false)
 }
 
 // Load tells how many requests of its own the instance has in flight, on the mean of some seconds. What makes no sense is
 // passed over.
-func (x *Set) Load(now monotime.Micros, inFlight float64) {
+func (x *Set) SetLoad(now monotime.Micros, inFlight float64) {
 	if inFlight >= 0 && !math.IsInf(inFlight, 0) {
 		x.load = inFlight
-		x.look(now, false)
+		x.update(now, false)
 	}
 }
 
 // crowded says whether the arc, once it is doubled so often, is too short for the own load.
-func (x *Set) crowded(steps int) bool {
-	return x.load > loadHigh*float64(len(x.cut(steps))) && !x.whole(steps)
+func (x *Set) overloaded(doublings int) bool {
+	return x.load > maxLoadPerMember*float64(len(x.arcMembers(doublings))) && !x.coversRing(doublings)
 }
 
 // Next returns when Advance has something to decide; ok says whether it ever has.
-func (x *Set) Next() (at monotime.Micros, ok bool) { return x.wake, x.wake > 0 }
+func (x *Set) NextStep() (at monotime.Micros, ok bool) { return x.nextStepAt, x.nextStepAt > 0 }
 
 // Advance widens or narrows the set if that is due. It says whether the members changed.
 func (x *Set) Advance(now monotime.Micros) bool {
-	if x.wake == 0 || now < x.wake {
+	if x.nextStepAt == 0 || now < x.nextStepAt {
 		return false
 	}
-	return x.look(now, true)
+	return x.update(now, true)
 }
 
 // look cuts the arc anew; due says that a step may be made now.
-func (x *Set) look(now monotime.Micros, due bool) bool {
-	was := x.steps
-	want := x.step()
+func (x *Set) update(now monotime.Micros, due bool) bool {
+	previous := x.doublings
+	target := x.targetDoublings()
 	switch {
-	case want == x.steps:
-		x.wake = 0
+	case target == x.doublings:
+		x.nextStepAt = 0
 	case due:
-		x.steps = want
-		if want = x.step(); want != x.steps {
-			x.arm(now, want)
+		x.doublings = target
+		if target = x.targetDoublings(); target != x.doublings {
+			x.scheduleStep(now, target)
 		} else {
-			x.wake = 0
+			x.nextStepAt = 0
 		}
-	case x.wake == 0 || (want > x.steps) != x.wider:
-		x.arm(now, want)
+	case x.nextStepAt == 0 || (target > x.doublings) != x.nextStepWidens:
+		x.scheduleStep(now, target)
 	}
-	before := x.member
-	x.member = x.cut(x.steps)
-	return was != x.steps || !slices.Equal(before, x.member)
+	previousMembers := x.members
+	x.members = x.arcMembers(x.doublings)
+	return previous != x.doublings || !slices.Equal(previousMembers, x.members)
 }
 
 // arm sets when the next step is made: spread, so that those who see the same do not all do it at once.
-func (x *Set) arm(now monotime.Micros, want int) {
-	pause := widenPause
-	switch x.wider = want > x.steps; {
-	case !x.wider:
-		pause = narrowCalm
-	case x.crowded(x.steps):
-		pause = loadPause
+func (x *Set) scheduleStep(now monotime.Micros, target int) {
+	interval := widenInterval
+	switch x.nextStepWidens = target > x.doublings; {
+	case !x.nextStepWidens:
+		interval = narrowInterval
+	case x.overloaded(x.doublings):
+		interval = loadStepInterval
 	}
-	x.wake = now + max(1, pause/2+monotime.Micros(x.float()*float64(pause)))
+	x.nextStepAt = now + max(1, interval/2+monotime.Micros(x.randomFloat()*float64(interval)))
 }
 
 // step is the next step from here on: as much wider as the own load calls for, one wider, one narrower, or none.
-func (x *Set) step() int {
-	if x.crowded(x.steps) {
-		steps := x.steps + 1
-		for x.crowded(steps) {
-			steps++
+func (x *Set) targetDoublings() int {
+	if x.overloaded(x.doublings) {
+		doublings := x.doublings + 1
+		for x.overloaded(doublings) {
+			doublings++
 		}
-		return steps
+		return doublings
 	}
-	if x.well(x.steps) < widenAt && !x.whole(x.steps) {
-		return x.steps + 1
+	if x.healthyWeight(x.doublings) < widenBelowHealthy && !x.coversRing(x.doublings) {
+		return x.doublings + 1
 	}
-	if x.steps > 0 && x.well(x.steps-1) >= narrowAt && x.load < loadLow*float64(len(x.member)) {
-		return x.steps - 1
+	if x.doublings > 0 && x.healthyWeight(x.doublings-1) >= narrowAboveHealthy && x.load < minLoadPerMember*float64(len(x.members)) {
+		return x.doublings - 1
 	}
-	return x.steps
+	return x.doublings
 }
 
 // well is how much of the arc's own weight, once it is doubled so often, is well: more than 1 where it is long.
-func (x *Set) well(steps int) float64 {
+func (x *Set) healthyWeight(doublings int) float64 {
 	var sum float64
-	for _, m := range x.cut(steps) {
-		if !x.unwell[m.ID] {
+	for _, m := range x.arcMembers(doublings) {
+		if !x.unhealthy[m.ID] {
 			sum += m.Share
 		}
 	}
-	return sum * min(math.Pow(2, float64(steps)), float64(x.arcs()))
+	return sum * min(math.Pow(2, float64(doublings)), float64(x.arcCount()))
 }
 
 // whole says whether the arc is the whole ring.
-func (x *Set) whole(steps int) bool { return math.Pow(2, float64(steps)) >= float64(x.arcs()) }
+func (x *Set) coversRing(doublings int) bool {
+	return math.Pow(2, float64(doublings)) >= float64(x.arcCount())
+}
 
 // cut returns what lies on the arc. It grows towards its end.
-func (x *Set) cut(steps int) []Member {
+func (x *Set) arcMembers(doublings int) []Member {
 	if len(x.ring) == 0 {
 		return nil
 	}
-	arcs := float64(x.arcs())
-	length := min(1, math.Pow(2, float64(steps))/arcs)
-	from := float64(x.s.Position%x.arcs()) / arcs * x.total
+	arcCount := float64(x.arcCount())
+	length := min(1, math.Pow(2, float64(doublings))/arcCount)
+	from := float64(x.settings.Position%x.arcCount()) / arcCount * x.totalWeight
 	var list []Member
 	add := func(from, to float64) {
-		i, _ := slices.BinarySearchFunc(x.ring, from, func(p placed, at float64) int { return cmp.Compare(p.from+p.Weight, at) })
-		for ; i < len(x.ring) && x.ring[i].from < to; i++ {
+		i, _ := slices.BinarySearchFunc(x.ring, from, func(p ringEntry, at float64) int { return cmp.Compare(p.start+p.Weight, at) })
+		for ; i < len(x.ring) && x.ring[i].start < to; i++ {
 			p := &x.ring[i]
-			part := (min(to, p.from+p.Weight) - max(from, p.from)) / (length * x.total)
+			part := (min(to, p.start+p.Weight) - max(from, p.start)) / (length * x.totalWeight)
 			if part <= 1e-9 {
 				continue // it ends where the arc begins, but for rounding
 			}
@@ -321,19 +323,19 @@
 			}
 		}
 	}
-	to := from + length*x.total
-	add(from, min(to, x.total))
-	if to > x.total {
-		add(0, to-x.total)
+	to := from + length*x.totalWeight
+	add(from, min(to, x.totalWeight))
+	if to > x.totalWeight {
+		add(0, to-x.totalWeight)
 	}
 	return list
 }
 
 // Members returns those this instance deals with, in the order of the ring. They are not to be changed.
-func (x *Set) Members() []Member { return x.member }
+func (x *Set) Members() []Member { return x.members }
 
 // Widened returns how often the arc is doubled at present.
-func (x *Set) Widened() int { return x.steps }
+func (x *Set) Doublings() int { return x.doublings }
 
 // Budgets is this instance's part of what all nodes have for the fleet. 0 is no bound.
 type Budgets struct {
@@ -343,20 +345,20 @@
 
 // Budgets divides what the nodes have over the instances.
 func (x *Set) Budgets() Budgets {
-	if x.s.Instances == 0 {
+	if x.settings.Instances == 0 {
 		return Budgets{}
 	}
-	part := float64(len(x.ring)) / float64(x.s.Instances)
-	return Budgets{x.s.IdleConnections * part, x.s.Probes * part}
+	part := float64(len(x.ring)) / float64(x.settings.Instances)
+	return Budgets{x.settings.EndpointIdleConnections * part, x.settings.EndpointProbes * part}
 }
 
-func (x *Set) float() float64 {
-	x.rng += 0x9e3779b97f4a7c15
-	return float64(mix(x.rng)>>11) / (1 << 53)
+func (x *Set) randomFloat() float64 {
+	x.randState += 0x9e3779b97f4a7c15
+	return float64(mix64(x.randState)>>11) / (1 << 53)
 }
 
 // mix is SplitMix64's last step (Steele, Lea, Flood: "Fast Splittable Pseudorandom Number Generators", 2014).
-func mix(z uint64) uint64 {
+func mix64(z uint64) uint64 {
 	z += 0x9e3779b97f4a7c15
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
 	z = (z ^ z>>27) * 0x94d049bb133111eb
@@ -364,7 +366,7 @@
 }
 
 // text is FNV-1a of a text, 64 bits.
-func text(s string) uint64 {
+func hashString(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := range len(s) {
 		h = (h ^ uint64(s[i])) * 1099511628211
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-func nodes(n int) []Endpoint {
+func testEndpoints(n int) []Endpoint {
 	list := make([]Endpoint, n)
 	for i := range list {
 		list[i] = Endpoint{ID: fmt.Sprintf("s-%d", i), Zone: i % 3, Weight: 1}
@@ -19,17 +19,17 @@
 	return list
 }
 
-func set(t interface{ Fatal(...any) }, position, least int, list []Endpoint) *Set {
-	x, err := New(Settings{Position: uint64(position), Least: least, Seed: uint64(position)})
+func newTestSet(t interface{ Fatal(...any) }, position, least int, list []Endpoint) *Set {
+	x, err := New(Settings{Position: uint64(position), MinMembers: least, Seed: uint64(position)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.List(0, list)
+	x.SetEndpoints(0, list)
 	return x
 }
 
 // spread returns the load of each endpoint, of instances that ask for one each.
-func spread(fleet []*Set) map[string]float64 {
+func endpointLoads(fleet []*Set) map[string]float64 {
 	load := map[string]float64{}
 	for _, x := range fleet {
 		for _, m := range x.Members() {
@@ -39,10 +39,10 @@
 	return load
 }
 
-func TestSettings(t *testing.T) {
-	for key, s := range map[string]Settings{"least": {}, "instances": {Least: 1, Instances: -1},
-		"idle_connections": {Least: 1, IdleConnections: 3}, "probes": {Least: 1, Instances: 2, Probes: math.NaN()}} {
-		var bad *Error
+func TestInvalidSettingIsNamed(t *testing.T) {
+	for key, s := range map[string]Settings{"least": {}, "instances": {MinMembers: 1, Instances: -1},
+		"idle_connections": {MinMembers: 1, EndpointIdleConnections: 3}, "probes": {MinMembers: 1, Instances: 2, EndpointProbes: math.NaN()}} {
+		var bad *SettingError
 		if _, err := New(s); !errors.As(err, &bad) || bad.Key != key {
 			t.Errorf("%s: %v", key, err)
 		}
@@ -50,22 +50,22 @@
 }
 
 // Any list, any lot: shares are whole, a whole lot loads each endpoint by its weight exactly, and any zones' parts hold.
-func TestEvenByWeight(t *testing.T) {
+func TestLoadFollowsWeightExactly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 120).Draw(t, "endpoints")
 		least := rapid.IntRange(1, 12).Draw(t, "least")
-		list := nodes(n)
+		list := testEndpoints(n)
 		var total float64
 		for i := range list {
 			list[i].Weight = rapid.SampledFrom([]float64{0.5, 1, 1, 2, 4}).Draw(t, "weight")
 			list[i].Zone = rapid.IntRange(0, 3).Draw(t, "zone")
 			total += list[i].Weight
 		}
-		arcs := int(set(t, 0, least, list).arcs())
-		lot := rapid.IntRange(0, 1000).Draw(t, "lot")
+		arcs := int(newTestSet(t, 0, least, list).arcCount())
+		group := rapid.IntRange(0, 1000).Draw(t, "lot")
 		var fleet []*Set
 		for i := range arcs {
-			x := set(t, lot*arcs+i, least, list)
+			x := newTestSet(t, group*arcs+i, least, list)
 			var sum float64
 			for _, m := range x.Members() {
 				sum += m.Share
@@ -75,7 +75,7 @@
 			}
 			fleet = append(fleet, x)
 		}
-		load := spread(fleet)
+		load := endpointLoads(fleet)
 		for _, e := range list {
 			if want := float64(arcs) * e.Weight / total; math.Abs(load[e.ID]-want) > 1e-6 {
 				t.Fatalf("%s gets %v of a lot of %d, its weight is %v", e.ID, load[e.ID], arcs, want)
@@ -85,20 +85,20 @@
 }
 
 // One endpoint that comes or goes moves a bounded part: what it had, and the ends of arcs.
-func TestDisturbance(t *testing.T) {
+func TestRemovedEndpointMovesFewMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(20, 200).Draw(t, "endpoints")
 		least := rapid.IntRange(2, 10).Draw(t, "least")
 		position := rapid.IntRange(0, 5000).Draw(t, "position")
-		list := nodes(n)
-		x := set(t, position, least, list)
-		before, arcs := map[string]float64{}, x.arcs()
+		list := testEndpoints(n)
+		x := newTestSet(t, position, least, list)
+		before, arcs := map[string]float64{}, x.arcCount()
 		for _, m := range x.Members() {
 			before[m.ID] = m.Share
 		}
 		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
-		x.List(0, append(append([]Endpoint{}, list[:gone]...), list[gone+1:]...))
-		if x.arcs() != arcs {
+		x.SetEndpoints(0, append(append([]Endpoint{}, list[:gone]...), list[gone+1:]...))
+		if x.arcCount() != arcs {
 			return // the list has shrunk to where the arcs are fewer
 		}
 		fresh := 0
@@ -114,9 +114,9 @@
 }
 
 // A fleet that ends within a lot, has lost half of its instances, or has no numbers: how uneven it is, by simulation.
-func TestUneven(t *testing.T) {
-	list := nodes(200)
-	worst := func(load map[string]float64, mean float64) float64 {
+func TestImbalanceOfPartialFleets(t *testing.T) {
+	list := testEndpoints(200)
+	highestToMean := func(load map[string]float64, mean float64) float64 {
 		most := 0.0
 		for _, e := range list {
 			most = max(most, load[e.ID])
@@ -130,15 +130,15 @@
 		most      float64
 	}{
 		{"numbered", 2000, func(i int) int { return i }, 1.03},
-		{"half of them lost, by chance", 2000, func(i int) int { return 2*i + int(mix(uint64(i))&1) }, 1.25},
+		{"half of them lost, by chance", 2000, func(i int) int { return 2*i + int(mix64(uint64(i))&1) }, 1.25},
 		{"every second one lost", 2000, func(i int) int { return 2 * i }, 1.35},
-		{"hashes of names", 2000, func(i int) int { return int(mix(uint64(i)) >> 33) }, 1.35},
+		{"hashes of names", 2000, func(i int) int { return int(mix64(uint64(i)) >> 33) }, 1.35},
 	} {
 		var fleet []*Set
 		for i := range c.instances {
-			fleet = append(fleet, set(t, c.position(i), 10, list))
+			fleet = append(fleet, newTestSet(t, c.position(i), 10, list))
 		}
-		got := worst(spread(fleet), float64(c.instances)/float64(len(list)))
+		got := highestToMean(endpointLoads(fleet), float64(c.instances)/float64(len(list)))
 		t.Logf("%s: highest to mean %.3f", c.name, got)
 		if got > c.most {
 			t.Errorf("%s: highest to mean %.3f, want %.2f at most", c.name, got, c.most)
@@ -148,14 +148,14 @@
 
 // play lets a fleet decide until nothing is due any more or the time is up, and returns how many steps were made and the
 // most in any 100 ms.
-func play(fleet []*Set, from, until monotime.Micros) (steps, burst int) {
+func runSteps(fleet []*Set, from, until monotime.Micros) (steps, burst int) {
 	for now := from; now < until; now += 100_000 {
 		n := 0
 		for _, x := range fleet {
-			if at, ok := x.Next(); ok && at <= now {
-				was := x.Widened()
+			if at, ok := x.NextStep(); ok && at <= now {
+				previous := x.Doublings()
 				x.Advance(now)
-				if x.Widened() != was {
+				if x.Doublings() != previous {
 					n++
 				}
 			}
@@ -168,109 +168,109 @@
 
 // A fifth of the endpoints turns bad: those whose members are mostly bad widen, not all at once and not further than
 // needed; what is well gets their traffic evenly; when all is well again they narrow, and nothing swings.
-func TestWidensAndNarrows(t *testing.T) {
-	list := nodes(60)
+func TestWidensWhileUnhealthyAndNarrowsAfter(t *testing.T) {
+	list := testEndpoints(60)
 	var fleet []*Set
 	for i := range 800 {
-		fleet = append(fleet, set(t, i, 3, list))
+		fleet = append(fleet, newTestSet(t, i, 3, list))
 	}
-	unwell := func(now monotime.Micros, yes bool) {
+	setUnhealthy := func(now monotime.Micros, yes bool) {
 		for _, x := range fleet {
 			for i := 0; i < 60; i += 5 {
-				x.Unwell(now, list[i].ID, yes)
+				x.SetUnhealthy(now, list[i].ID, yes)
 			}
 		}
 	}
-	unwell(0, true)
-	steps, burst := play(fleet, 0, 30*second)
+	setUnhealthy(0, true)
+	steps, burst := runSteps(fleet, 0, 30*second)
 	for _, x := range fleet {
-		well := 0.0
+		healthy := 0.0
 		for _, m := range x.Members() {
-			if !x.unwell[m.ID] {
-				well += m.Share
+			if !x.unhealthy[m.ID] {
+				healthy += m.Share
 			}
 		}
-		if well <= 0 {
+		if healthy <= 0 {
 			t.Error("an instance has no member that is well")
 		}
 	}
 	if steps == 0 || burst > steps/4+1 {
 		t.Errorf("%d steps, %d of them within 100 ms", steps, burst)
 	}
-	if more, _ := play(fleet, 30*second, 300*second); more > 0 {
+	if more, _ := runSteps(fleet, 30*second, 300*second); more > 0 {
 		t.Errorf("%d more steps while nothing changed", more)
 	}
-	unwell(300*second, false)
-	play(fleet, 300*second, 400*second)
+	setUnhealthy(300*second, false)
+	runSteps(fleet, 300*second, 400*second)
 	for _, x := range fleet {
-		if x.Widened() > 0 {
+		if x.Doublings() > 0 {
 			t.Error("an instance stays wide where all is well")
 		}
 	}
 }
 
 // A whole subset that is bad widens until half of an arc's weight is well; if all are bad it takes the whole list, and stops.
-func TestWholeSubsetBad(t *testing.T) {
-	list := nodes(100)
-	x := set(t, 7, 4, list)
+func TestUnhealthySubsetWidens(t *testing.T) {
+	list := testEndpoints(100)
+	x := newTestSet(t, 7, 4, list)
 	for _, m := range x.Members() {
-		x.Unwell(0, m.ID, true)
+		x.SetUnhealthy(0, m.ID, true)
 	}
-	play([]*Set{x}, 0, 60*second)
-	well := 0
+	runSteps([]*Set{x}, 0, 60*second)
+	healthy := 0
 	for _, m := range x.Members() {
-		if !x.unwell[m.ID] {
-			well++
+		if !x.unhealthy[m.ID] {
+			healthy++
 		}
 	}
-	if well < 2 || x.Widened() > 2 {
-		t.Errorf("%d members are well after %d steps", well, x.Widened())
+	if healthy < 2 || x.Doublings() > 2 {
+		t.Errorf("%d members are well after %d steps", healthy, x.Doublings())
 	}
 	for _, e := range list {
-		x.Unwell(60*second, e.ID, true)
+		x.SetUnhealthy(60*second, e.ID, true)
 	}
-	play([]*Set{x}, 60*second, 200*second)
-	if _, due := x.Next(); len(x.Members()) != 100 || due {
+	runSteps([]*Set{x}, 60*second, 200*second)
+	if _, due := x.NextStep(); len(x.Members()) != 100 || due {
 		t.Errorf("%d members where all are bad, more to come: %v", len(x.Members()), due)
 	}
 }
 
 // Few endpoints and many instances, many endpoints and few instances, none, and entries that make no sense.
-func TestOddLists(t *testing.T) {
+func TestUnusualEndpointLists(t *testing.T) {
 	for _, c := range []struct{ endpoints, members int }{{0, 0}, {1, 1}, {3, 3}, {7, 7}} {
-		if x := set(t, 4999, 8, nodes(c.endpoints)); len(x.Members()) != c.members {
+		if x := newTestSet(t, 4999, 8, testEndpoints(c.endpoints)); len(x.Members()) != c.members {
 			t.Errorf("%d endpoints: %d members", c.endpoints, len(x.Members()))
 		}
 	}
-	x, err := New(Settings{Position: 1, Least: 3, Instances: 3, IdleConnections: 100})
+	x, err := New(Settings{Position: 1, MinMembers: 3, Instances: 3, EndpointIdleConnections: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.List(0, nodes(500))
+	x.SetEndpoints(0, testEndpoints(500))
 	if len(x.Members()) != 500 {
 		t.Errorf("three instances, 500 endpoints that hold 100 connections each: %d members", len(x.Members()))
 	}
-	x.List(0, []Endpoint{{ID: ""}, {ID: "a", Weight: math.NaN()}, {ID: "a"}, {ID: "b", Weight: -1}, {ID: "c", Weight: math.Inf(1)}})
+	x.SetEndpoints(0, []Endpoint{{ID: ""}, {ID: "a", Weight: math.NaN()}, {ID: "a"}, {ID: "b", Weight: -1}, {ID: "c", Weight: math.Inf(1)}})
 	if len(x.Members()) != 3 {
 		t.Errorf("%v", x.Members())
 	}
-	x.Unwell(0, "nobody", true)
-	x.List(0, nil)
-	if len(x.Members()) != 0 || len(x.unwell) != 0 {
-		t.Errorf("%v, %v", x.Members(), x.unwell)
+	x.SetUnhealthy(0, "nobody", true)
+	x.SetEndpoints(0, nil)
+	if len(x.Members()) != 0 || len(x.unhealthy) != 0 {
+		t.Errorf("%v, %v", x.Members(), x.unhealthy)
 	}
 }
 
 // What the fleet spends at a node stays the same from 50 to 20,000 instances, and within ten times where its size is told
 // wrong by ten.
-func TestBudgetsAreFlat(t *testing.T) {
+func TestEndpointBudgetsDoNotDependOnFleetSize(t *testing.T) {
 	for _, told := range []float64{0.1, 1, 10} {
 		for _, n := range []int{50, 500, 5000, 20000} {
-			x, err := New(Settings{Least: 3, Instances: int(told * float64(n)), IdleConnections: 60, Probes: 20})
+			x, err := New(Settings{MinMembers: 3, Instances: int(told * float64(n)), EndpointIdleConnections: 60, EndpointProbes: 20})
 			if err != nil {
 				t.Fatal(err)
 			}
-			x.List(0, nodes(60))
+			x.SetEndpoints(0, testEndpoints(60))
 			b := x.Budgets()
 			for name, got := range map[string]float64{"idle": b.IdleConnections / 60, "probes": b.Probes / 20} {
 				if all := got * float64(n) / 60; math.Abs(all*told-1) > 1e-9 {
@@ -282,9 +282,9 @@
 }
 
 // No window of any length gives more than its rate and the burst; what is due is not lost, however seldom it is asked for.
-func TestBucket(t *testing.T) {
+func TestTokenBucketRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := Bucket{Rate: rapid.Float64Range(0.001, 50).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5).Draw(t, "burst")}
+		b := TokenBucket{Rate: rapid.Float64Range(0.001, 50).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5).Draw(t, "burst")}
 		first := rapid.Float64Range(0, 1).Draw(t, "first")
 		var now monotime.Micros
 		var taken []monotime.Micros
@@ -305,7 +305,7 @@
 			}
 		}
 	})
-	b := Bucket{Rate: 1.0 / 60}
+	b := TokenBucket{Rate: 1.0 / 60}
 	n := 0
 	for now := monotime.Micros(0); now < 3600*second; {
 		ok, at := b.Take(now, 0)
@@ -317,47 +317,47 @@
 	if n < 59 || n > 61 {
 		t.Errorf("%d in an hour of one a minute", n)
 	}
-	if ok, _ := (&Bucket{}).Take(0, 0); !ok {
+	if ok, _ := (&TokenBucket{}).Take(0, 0); !ok {
 		t.Error("no bound bounds")
 	}
 }
 
 // The arc follows the own load: within a second from a quiet instance to one that needs half of the list, no wider than its
 // band calls for, back when it is quiet again, and at any even load it comes to rest.
-func TestFollowsOwnLoad(t *testing.T) {
-	list := nodes(64)
-	x := set(t, 5, 4, list)
+func TestWidthFollowsOwnLoad(t *testing.T) {
+	list := testEndpoints(64)
+	x := newTestSet(t, 5, 4, list)
 	quiet := len(x.Members())
-	x.Load(0, 60)
-	play([]*Set{x}, 0, second)
+	x.SetLoad(0, 60)
+	runSteps([]*Set{x}, 0, second)
 	if n := len(x.Members()); n < 30 || n > 40 {
 		t.Errorf("%d members a second after 60 were in flight", n)
 	}
-	x.Load(second, 0.2)
-	play([]*Set{x}, second, 300*second)
+	x.SetLoad(second, 0.2)
+	runSteps([]*Set{x}, second, 300*second)
 	if n := len(x.Members()); n != quiet {
 		t.Errorf("%d members where it is quiet again, %d before", n, quiet)
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		x := set(t, rapid.IntRange(0, 5000).Draw(r, "position"), rapid.IntRange(1, 12).Draw(r, "least"), nodes(rapid.IntRange(1, 64).Draw(r, "nodes")))
+		x := newTestSet(t, rapid.IntRange(0, 5000).Draw(r, "position"), rapid.IntRange(1, 12).Draw(r, "least"), testEndpoints(rapid.IntRange(1, 64).Draw(r, "nodes")))
 		load := rapid.Float64Range(0, 300).Draw(r, "load")
 		now := monotime.Micros(0)
 		for range 3 { // from wherever the one before has left it
 			for i := range 150 { // told again and again, as an engine does
 				now += second
-				x.Load(now, load*(1+0.2*float64(i%2)))
+				x.SetLoad(now, load*(1+0.2*float64(i%2)))
 				x.Advance(now)
 			}
-			before := x.Widened()
+			before := x.Doublings()
 			for i := range 40 {
 				now += second
-				x.Load(now, load*(1+0.2*float64(i%2)))
+				x.SetLoad(now, load*(1+0.2*float64(i%2)))
 				x.Advance(now)
-				if x.Widened() != before {
-					r.Fatalf("at a load of %v it goes from %d to %d", load, before, x.Widened())
+				if x.Doublings() != before {
+					r.Fatalf("at a load of %v it goes from %d to %d", load, before, x.Doublings())
 				}
 			}
-			if n := float64(len(x.Members())); load > loadHigh*n && int(n) < len(x.ring) {
+			if n := float64(len(x.Members())); load > maxLoadPerMember*n && int(n) < len(x.ring) {
 				r.Fatalf("%v in flight over %v members of %d", load, n, len(x.ring))
 			}
 			load = rapid.Float64Range(0, 300).Draw(r, "then")
@@ -365,7 +365,7 @@
 	})
 	was := len(x.Members())
 	for _, odd := range []float64{math.NaN(), math.Inf(1), -1} {
-		if x.Load(400*second, odd); len(x.Members()) != was {
+		if x.SetLoad(400*second, odd); len(x.Members()) != was {
 			t.Errorf("a load of %v changed the members", odd)
 		}
 	}
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -81,7 +81,7 @@
 
 // The fleet's endpoints are all that are listed and not out by hand, also where an instance deals with four of them.
 func TestCountsTheFleetsEndpoints(t *testing.T) {
-	for _, part := range []*subset.Settings{nil, {Position: 77, Instances: 5000, Least: 4}} {
+	for _, part := range []*subset.Settings{nil, {Position: 77, Instances: 5000, MinMembers: 4}} {
 		h, _, list := instance(t, nil)
 		o := overload.DefaultSettings()
 		o.Instances = 600
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -21,7 +21,7 @@
 	fails  map[string]int             // of members, failures in a row
 	until  map[string]monotime.Micros // those that are unwell by them, and until when that is believed
 	alarm  *alarm                     // for the set's next step
-	probes subset.Bucket
+	probes subset.TokenBucket
 	rest   func(n float64)
 	first  float64 // part of a probe that the bucket begins with
 
@@ -89,9 +89,9 @@
 		list = append(list, subset.Endpoint{ID: m.Name, Zone: int(text(m.Zone)), Weight: 1})
 	}
 	slices.SortFunc(list, func(a, b subset.Endpoint) int { return strings.Compare(a.ID, b.ID) })
-	n.set.List(now, list)
+	n.set.SetEndpoints(now, list)
 	for _, e := range list { // in their order: what is left to chance must not depend on a map's
-		n.set.Unwell(now, e.ID, n.whole[e.ID].State != balancer.Ready || n.until[e.ID] > now)
+		n.set.SetUnhealthy(now, e.ID, n.whole[e.ID].State != balancer.Ready || n.until[e.ID] > now)
 	}
 	budgets := n.set.Budgets()
 	n.probes.Rate, n.probes.Burst = budgets.Probes, budgets.Probes
@@ -138,7 +138,7 @@
 			n.until[e.Name] = now + unwellFor
 		}
 	}
-	n.set.Unwell(now, e.Name, n.whole[e.Name].State != balancer.Ready || n.until[e.Name] > now)
+	n.set.SetUnhealthy(now, e.Name, n.whole[e.Name].State != balancer.Ready || n.until[e.Name] > now)
 	p.setAlarm()
 }
 
@@ -165,7 +165,7 @@
 	}
 	if n.opened(now, attempts); now-n.toldAt >= loadTold {
 		n.toldAt = now
-		n.set.Load(now, n.load)
+		n.set.SetLoad(now, n.load)
 		p.setAlarm()
 	}
 }
@@ -175,7 +175,7 @@
 	n := p.narrowed
 	p.engine.callOff(n.alarm)
 	n.alarm = nil
-	at, ok := n.set.Next()
+	at, ok := n.set.NextStep()
 	for _, until := range n.until {
 		if !ok || until < at {
 			at, ok = until, true
@@ -186,10 +186,10 @@
 			n.alarm = nil
 			n.age(now)
 			n.opened(now, 0)
-			n.set.Load(now, n.load)
+			n.set.SetLoad(now, n.load)
 			if n.set.Advance(now) && !p.gone {
 				p.engine.config.Host.Log("subset changed", "pool", p.name, "members", len(n.set.Members()), "of", len(n.whole),
-					"widened", n.set.Widened())
+					"widened", n.set.Doublings())
 				p.apply(now, Told{Kind: balancer.ListFull, Members: n.members()})
 			}
 			p.setAlarm()
@@ -203,7 +203,7 @@
 		if now >= n.until[name] {
 			delete(n.until, name)
 			n.fails[name] = unwellAfter - 1
-			n.set.Unwell(now, name, n.whole[name].State != balancer.Ready)
+			n.set.SetUnhealthy(now, name, n.whole[name].State != balancer.Ready)
 		}
 	}
 }
@@ -235,5 +235,5 @@
 	if p.narrowed == nil {
 		return len(p.byName), len(p.byName), 0
 	}
-	return len(p.narrowed.set.Members()), len(p.narrowed.whole), p.narrowed.set.Widened()
+	return len(p.narrowed.set.Members()), len(p.narrowed.whole), p.narrowed.set.Doublings()
 }
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -52,7 +52,7 @@
 // quiet is an instance of a fleet of 5,000 that deals with four of sixty endpoints.
 func quiet(t testing.TB, probes float64) (*host, *Client, []Member) {
 	t.Helper()
-	return instance(t, &subset.Settings{Position: 77, Instances: 5000, Least: 4, Probes: probes})
+	return instance(t, &subset.Settings{Position: 77, Instances: 5000, MinMembers: 4, EndpointProbes: probes})
 }
 
 // instance is one that deals with a part of sixty endpoints, or with all.
@@ -211,7 +211,7 @@
 // What deciding a request costs with a subset and without, all of the engine's and the balancer's work for it, at a thousand
 // requests a second.
 func BenchmarkSubset(b *testing.B) {
-	for name, part := range map[string]*subset.Settings{"all": nil, "four": {Position: 77, Instances: 5000, Least: 4, Probes: 2}} {
+	for name, part := range map[string]*subset.Settings{"all": nil, "four": {Position: 77, Instances: 5000, MinMembers: 4, EndpointProbes: 2}} {
 		b.Run(name, func(b *testing.B) {
 			h, c, _ := instance(b, part)
 			now := h.run(c, 1_000*second, 2000, 1000)
