--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -220,7 +220,7 @@
 	for i := range c.Routes {
 		for key, source := range c.Routes[i].sources() {
 			if name, ok := strings.CutPrefix(*source, "path:"); ok && table != nil {
-				_, known := table.Named(i, name)
+				_, known := table.ParameterIndex(i, name)
 				k.That(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
 			}
 		}
@@ -285,7 +285,7 @@
 	k.That(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
 	k.That(r.StripPrefix == "" || r.stripped(), at("strip_prefix"), "%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
 	if r.AddPrefix != "" {
-		normal, err := route.Normalize(r.AddPrefix, route.KeepSlashes)
+		normal, err := route.NormalizePath(r.AddPrefix, route.KeepEncodedSlashes)
 		k.That(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
 			"%q is no path in normal form without a / at its end", r.AddPrefix)
 	}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -155,7 +155,7 @@
 	}
 	all := &http1.Routes{Table: c.Table, Agent: agent(c.Name), Decisive: map[string]bool{}}
 	if c.Paths.EncodedSlash == "keep" {
-		all.Slashes = route.KeepSlashes
+		all.Slashes = route.KeepEncodedSlashes
 	}
 	for i := range c.Routes {
 		all.Routes = append(all.Routes, d.routeOf(c, i, all.Decisive))
@@ -191,7 +191,7 @@
 			decisive[name] = true
 			return http1.Source{Kind: http1.FromHeader, Name: name}
 		case kind == "path":
-			place, _ := c.Table.Named(i, name)
+			place, _ := c.Table.ParameterIndex(i, name)
 			return http1.Source{Kind: http1.FromSegment, Segment: place}
 		case text == "client":
 			return http1.Source{Kind: http1.FromClient}
--- a/internal/decide/route/path.go
+++ b/internal/decide/route/path.go
@@ -20,20 +20,20 @@
 )
 
 // Slashes says what becomes of an encoded slash (%2F) or backslash (%5C) in a path.
-type Slashes uint8
+type EncodedSlashes uint8
 
 // The rules on encoded slashes. Some servers take one for a slash and some do not, so that one and the same path
 // names two things: by default it is refused. It is never decoded.
 const (
-	RefuseSlashes Slashes = iota
-	KeepSlashes
+	RejectEncodedSlashes EncodedSlashes = iota
+	KeepEncodedSlashes
 )
 
 // Normalize returns the one form of a request's path, without its query, that is matched and sent on: unreserved
 // characters are not escaped, all others that need it are, with capital digits (RFC 3986 section 6.2.2); dot
 // segments, also escaped ones, are resolved (section 5.2.4), with empty segments taken out first. What it returns
 // is its own normal form. It allocates nothing where the path already is and has no escapes.
-func Normalize(path string, slashes Slashes) (string, error) {
+func NormalizePath(path string, slashes EncodedSlashes) (string, error) {
 	if path == "" || path[0] != '/' {
 		return "", ErrNoPath
 	}
@@ -41,25 +41,25 @@
 		return path, nil
 	}
 	out := make([]byte, 0, len(path)+8)
-	plain := make([]byte, 0, 64) // the segment, with nothing escaped
+	decoded := make([]byte, 0, 64) // the segment, with nothing escaped
 	for rest, last := path[1:], false; !last; {
 		var segment string
-		if segment, rest, last = next(rest); segment == "" {
+		if segment, rest, last = cutSegment(rest); segment == "" {
 			continue
 		}
-		begin := len(out)
+		segmentStart := len(out)
 		out = append(out, '/')
-		plain = plain[:0]
+		decoded = decoded[:0]
 		var err error
-		if out, plain, err = segmentTo(out, plain, segment, slashes); err != nil {
+		if out, decoded, err = appendSegment(out, decoded, segment, slashes); err != nil {
 			return "", err
 		}
-		name, _, parameters := strings.Cut(string(plain), ";")
+		name, _, parameters := strings.Cut(string(decoded), ";")
 		if name == "." || name == ".." {
 			if parameters {
 				return "", ErrDotParameter // "/a/..;x/b": some servers drop the parameter first
 			}
-			out = out[:begin]
+			out = out[:segmentStart]
 			if name == ".." {
 				i := bytes.LastIndexByte(out, '/')
 				if i < 0 {
@@ -79,7 +79,7 @@
 }
 
 // segmentTo appends a segment's normal form to out, and its meaning to plain.
-func segmentTo(out, plain []byte, segment string, slashes Slashes) ([]byte, []byte, error) {
+func appendSegment(out, decoded []byte, segment string, slashes EncodedSlashes) ([]byte, []byte, error) {
 	for i := 0; i < len(segment); i++ {
 		c := segment[i]
 		switch {
@@ -87,7 +87,7 @@
 			if i+2 >= len(segment) {
 				return nil, nil, ErrEscape
 			}
-			high, low := unhex(segment[i+1]), unhex(segment[i+2])
+			high, low := hexValue(segment[i+1]), hexValue(segment[i+2])
 			if high > 15 || low > 15 {
 				return nil, nil, ErrEscape
 			}
@@ -96,28 +96,28 @@
 			switch {
 			case c < ' ' || c == 0x7f:
 				return nil, nil, ErrControl
-			case (c == '/' || c == '\\') && slashes == RefuseSlashes:
+			case (c == '/' || c == '\\') && slashes == RejectEncodedSlashes:
 				return nil, nil, ErrEncodedSlash
 			case isUnreserved(c):
 				out = append(out, c)
 			default:
-				out = escape(out, c)
+				out = appendEscaped(out, c)
 			}
 		case c == '\\':
 			return nil, nil, ErrBackslash
 		case c < ' ' || c == 0x7f:
 			return nil, nil, ErrControl
-		case pathChar[c]:
+		case isPathChar[c]:
 			out = append(out, c)
 		default:
-			out = escape(out, c)
+			out = appendEscaped(out, c)
 		}
-		plain = append(plain, c)
+		decoded = append(decoded, c)
 	}
-	if !utf8.Valid(plain) {
+	if !utf8.Valid(decoded) {
 		return nil, nil, ErrUTF8
 	}
-	return out, plain, nil
+	return out, decoded, nil
 }
 
 // isNormal says, without a doubt, that a path is its own normal form; where it says no, it may be still.
@@ -128,7 +128,7 @@
 			if i+1 < len(path) && (path[i+1] == '/' || path[i+1] == '.') {
 				return false
 			}
-		case !pathChar[c]:
+		case !isPathChar[c]:
 			return false
 		}
 	}
@@ -136,7 +136,7 @@
 }
 
 // next takes the first segment off a path without its first slash, and says whether it was the last.
-func next(path string) (segment, rest string, last bool) {
+func cutSegment(path string) (segment, rest string, last bool) {
 	if i := strings.IndexByte(path, '/'); i >= 0 {
 		return path[:i], path[i+1:], false
 	}
@@ -147,7 +147,7 @@
 func Segment(path string, n int) string {
 	rest, last := strings.TrimPrefix(path, "/"), false
 	for segment := ""; !last; n-- {
-		if segment, rest, last = next(rest); n == 0 {
+		if segment, rest, last = cutSegment(rest); n == 0 {
 			return segment
 		}
 	}
@@ -156,19 +156,19 @@
 
 // Host returns the one form of a Host header that is matched: without its port, in small letters, without the dot
 // of the root. It allocates nothing where the host already is.
-func Host(host string) string {
+func NormalizeHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-func escape(out []byte, c byte) []byte {
+func appendEscaped(out []byte, c byte) []byte {
 	const digits = "0123456789ABCDEF"
 	return append(out, '%', digits[c>>4], digits[c&15])
 }
 
-func unhex(c byte) byte {
+func hexValue(c byte) byte {
 	switch {
 	case '0' <= c && c <= '9':
 		return c - '0'
@@ -186,7 +186,7 @@
 }
 
 // pathChar is pchar of RFC 3986 section 3.3 but for escapes.
-var pathChar = func() (is [256]bool) {
+var isPathChar = func() (is [256]bool) {
 	for c := range 256 {
 		is[c] = isUnreserved(byte(c)) || c != 0 && strings.IndexByte("!$&'()*+,;=:@", byte(c)) >= 0
 	}
--- a/internal/decide/route/route_test.go
+++ b/internal/decide/route/route_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 )
 
-func TestNormalize(t *testing.T) {
+func TestNormalizePath(t *testing.T) {
 	for _, tc := range []struct {
 		in, want string
 		err      error
@@ -51,11 +51,11 @@
 		{"*", "", ErrNoPath},
 		{"", "", ErrNoPath},
 	} {
-		if got, err := Normalize(tc.in, RefuseSlashes); got != tc.want || err != tc.err {
+		if got, err := NormalizePath(tc.in, RejectEncodedSlashes); got != tc.want || err != tc.err {
 			t.Errorf("Normalize(%q) = %q, %v, want %q, %v", tc.in, got, err, tc.want, tc.err)
 		}
 	}
-	if got, err := Normalize("/a%2fb", KeepSlashes); got != "/a%2Fb" || err != nil {
+	if got, err := NormalizePath("/a%2fb", KeepEncodedSlashes); got != "/a%2Fb" || err != nil {
 		t.Errorf("kept: %q, %v", got, err)
 	}
 }
@@ -67,18 +67,18 @@
 		f.Add(s, true)
 	}
 	f.Fuzz(func(t *testing.T, in string, keep bool) {
-		slashes := RefuseSlashes
+		slashes := RejectEncodedSlashes
 		if keep {
-			slashes = KeepSlashes
+			slashes = KeepEncodedSlashes
 		}
-		out, err := Normalize(in, slashes)
+		out, err := NormalizePath(in, slashes)
 		if err != nil {
 			if out != "" {
 				t.Errorf("%q: %q beside %v", in, out, err)
 			}
 			return
 		}
-		if again, err := Normalize(out, slashes); again != out || err != nil {
+		if again, err := NormalizePath(out, slashes); again != out || err != nil {
 			t.Errorf("%q became %q, and that %q, %v", in, out, again, err)
 		}
 		if clean := path.Clean(out); out[0] != '/' || clean != strings.TrimSuffix(out, "/") && clean != out {
@@ -94,7 +94,7 @@
 	})
 }
 
-func TestPatternErrors(t *testing.T) {
+func TestInvalidPatternIsNamed(t *testing.T) {
 	for _, tc := range []struct {
 		p   Pattern
 		key string
@@ -124,7 +124,7 @@
 	}
 }
 
-func TestOrder(t *testing.T) {
+func TestSpecificPatternWins(t *testing.T) {
 	// Each takes a request of those after it.
 	ranked := []Pattern{
 		{Host: "a.example", Path: "/x/y", Headers: []Header{{"K", "1"}, {"L", ""}}, Methods: []string{"GET"}},
@@ -199,10 +199,10 @@
 			t.Errorf("%s %s%s: %d, want %d", tc.method, tc.host, tc.path, got, tc.want)
 		}
 	}
-	if place, ok := table.Named(0, "card"); !ok || Segment("/cards/a/7", place) != "7" {
+	if place, ok := table.ParameterIndex(0, "card"); !ok || Segment("/cards/a/7", place) != "7" {
 		t.Errorf("card is segment %d, %v", place, ok)
 	}
-	if _, ok := table.Named(1, "card"); ok {
+	if _, ok := table.ParameterIndex(1, "card"); ok {
 		t.Error("a part that is not named has a place")
 	}
 }
@@ -235,11 +235,11 @@
 }
 
 // plain is the table's plain model: it tries every pattern, and compares ranks as the package's comment states them.
-func plain(patterns []Pattern, host, path, method string, headers map[string][]string) int {
+func referenceMatch(patterns []Pattern, host, path, method string, headers map[string][]string) int {
 	best, other := NotFound, false
 	var rank []int
 	for i, p := range patterns {
-		r, fits := plainRank(p, host, path, headers)
+		r, fits := referenceRank(p, host, path, headers)
 		if !fits {
 			continue
 		}
@@ -260,7 +260,7 @@
 	return best
 }
 
-func plainRank(p Pattern, host, path string, headers map[string][]string) (rank []int, fits bool) {
+func referenceRank(p Pattern, host, path string, headers map[string][]string) (rank []int, fits bool) {
 	below, wild := strings.CutPrefix(p.Host, "*.")
 	switch {
 	case p.Host == "":
@@ -309,7 +309,7 @@
 	return append(rank, values, len(p.Headers)), true
 }
 
-func TestTableAgainstPlainModel(t *testing.T) {
+func TestTableAgainstReference(t *testing.T) {
 	segment := rapid.SampledFrom([]string{"a", "b", "{p}"})
 	pattern := rapid.Custom(func(t *rapid.T) Pattern {
 		p := Pattern{Host: rapid.SampledFrom([]string{"", "", "h.example", "*.example", "*.h.example", "example"}).Draw(t, "host")}
@@ -358,7 +358,7 @@
 					headers[name] = []string{v}
 				}
 			}
-			got, want := table.Match(host, path, method, headers), plain(patterns, host, path, method, headers)
+			got, want := table.Match(host, path, method, headers), referenceMatch(patterns, host, path, method, headers)
 			if got != want {
 				t.Fatalf("%s %s%s %v: %d, the model says %d, of %+v", method, host, path, headers, got, want, patterns)
 			}
@@ -410,7 +410,7 @@
 			t.Fatal(err)
 		}
 		for range 20 {
-			path, err := Normalize("/"+pick("", "a", "b", "%c3%a9", "%61")+pick("", "/", "/a", "/..", "/b/")+pick("", "/a", "//b", "/."), RefuseSlashes)
+			path, err := NormalizePath("/"+pick("", "a", "b", "%c3%a9", "%61")+pick("", "/", "/a", "/..", "/b/")+pick("", "/a", "//b", "/."), RejectEncodedSlashes)
 			if err != nil {
 				continue
 			}
@@ -420,8 +420,8 @@
 					headers[name] = []string{v}
 				}
 			}
-			host, method := Host(pick("h.example", "X.h.Example.", "example:80", "other")), pick("GET", "POST", "PUT")
-			if got, want := table.Match(host, path, method, headers), plain(patterns, host, path, method, headers); got != want {
+			host, method := NormalizeHost(pick("h.example", "X.h.Example.", "example:80", "other")), pick("GET", "POST", "PUT")
+			if got, want := table.Match(host, path, method, headers), referenceMatch(patterns, host, path, method, headers); got != want {
 				t.Fatalf("%s %s%s %v: %d, the model says %d, of %+v", method, host, path, headers, got, want, patterns)
 			}
 		}
@@ -447,8 +447,8 @@
 	table, paths := bigTable(1000)
 	i := 0
 	if n := testing.AllocsPerRun(1000, func() {
-		path, err := Normalize(paths[i%len(paths)], RefuseSlashes)
-		if err != nil || table.Match(Host("desk.example"), path, "GET", nil) != i%len(paths) {
+		path, err := NormalizePath(paths[i%len(paths)], RejectEncodedSlashes)
+		if err != nil || table.Match(NormalizeHost("desk.example"), path, "GET", nil) != i%len(paths) {
 			t.Fatal(path)
 		}
 		i++
--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -54,69 +54,69 @@
 
 // Table finds the route of a request. Make one with New; it may be used by many at once.
 type Table struct {
-	exact  map[string]*node // by host
-	suffix map[string]*node // by what follows "*."
-	any    *node
-	named  []map[string]int // of each pattern, the places of its named segments
+	exactHosts   map[string]*node // by host
+	hostSuffixes map[string]*node // by what follows "*."
+	anyHost      *node
+	parameters   []map[string]int // of each pattern, the places of its named segments
 }
 
 // node is the end of some segments, where paths go on or patterns end.
 type node struct {
-	literal map[string]*node
-	named   *node
-	exact   []entry // patterns whose path ends here, the most specific first
-	prefix  []entry // patterns that take all from here on
+	literals      map[string]*node
+	parameter     *node
+	exactEntries  []entry // patterns whose path ends here, the most specific first
+	prefixEntries []entry // patterns that take all from here on
 }
 
 type entry struct {
-	index   int
-	methods []string
-	headers []Header
-	values  int // headers that must have a value
+	index         int
+	methods       []string
+	headers       []Header
+	valuedHeaders int // headers that must have a value
 }
 
 // New makes a table of patterns, or says which is wrong: a *PatternError or a *ConflictError.
 func New(patterns []Pattern) (*Table, error) {
-	t := &Table{exact: map[string]*node{}, suffix: map[string]*node{}, named: make([]map[string]int, len(patterns))}
+	t := &Table{exactHosts: map[string]*node{}, hostSuffixes: map[string]*node{}, parameters: make([]map[string]int, len(patterns))}
 	for i := range patterns {
 		p := &patterns[i]
-		if key, reason := p.wrong(); reason != "" {
+		if key, reason := p.validate(); reason != "" {
 			return nil, &PatternError{i, key, reason}
 		}
-		root := t.root(p.Host)
-		at, prefix, named := root.extend(p.Path)
-		t.named[i] = named
-		e := entry{index: i, methods: slices.Clone(p.Methods), headers: slices.Clone(p.Headers)}
-		for _, h := range e.headers {
+		root := t.hostNode(p.Host)
+		end, prefix, parameters := root.insertPath(p.Path)
+		t.parameters[i] = parameters
+		added := entry{index: i, methods: slices.Clone(p.Methods), headers: slices.Clone(p.Headers)}
+		for _, h := range added.headers {
 			if h.Value != "" {
-				e.values++
+				added.valuedHeaders++
 			}
 		}
-		list := &at.exact
+		entries := &end.exactEntries
 		if prefix {
-			list = &at.prefix
+			entries = &end.prefixEntries
 		}
-		place := len(*list)
-		for j := range *list {
-			switch o := &(*list)[j]; {
-			case e.before(o):
-				place = min(place, j)
-			case !o.before(&e) && e.meets(o):
-				return nil, &ConflictError{o.index, i}
+		position := len(*entries)
+		for j := range *entries {
+			switch other := &(*entries)[j]; {
+			case added.moreSpecificThan(other):
+				position = min(position, j)
+			case !other.moreSpecificThan(&added) && added.overlaps(other):
+				return nil, &ConflictError{other.index, i}
 			}
 		}
-		*list = slices.Insert(*list, place, e)
+		*entries = slices.Insert(*entries, position, added)
 	}
 	return t, nil
 }
 
 // wrong says what is wrong with a pattern by itself.
-func (p *Pattern) wrong() (key, reason string) {
-	if host := strings.TrimPrefix(p.Host, "*."); p.Host != "" && (host == "" || host != Host(host) || strings.ContainsAny(host, "*/ ")) {
+func (p *Pattern) validate() (key, reason string) {
+	if host := strings.TrimPrefix(p.Host, "*."); p.Host != "" && (host == "" || host != NormalizeHost(host) || strings.ContainsAny(host, "*/ ")) {
 		return "host", fmt.Sprintf("%q is neither a name in small letters without a port nor \"*.suffix\"", p.Host)
 	}
 	if p.Path != "" {
-		if key, reason = wrongPath(p.Path); reason != "" {
+		if key, reason = validatePath(p.Path); reason != "" {
 			return key, reason
 		}
 	}
@@ -139,17 +139,17 @@
 	return "", ""
 }
 
-func wrongPath(path string) (key, reason string) {
-	path, all := strings.CutSuffix(path, "*")
-	if all && !strings.HasSuffix(path, "/") || path == "" || path[0] != '/' || strings.Contains(path, "*") {
+func validatePath(path string) (key, reason string) {
+	path, prefix := strings.CutSuffix(path, "*")
+	if prefix && !strings.HasSuffix(path, "/") || path == "" || path[0] != '/' || strings.Contains(path, "*") {
 		return "path", "must begin with /, and a * may only stand at its end, behind a /"
 	}
 	names := map[string]bool{}
 	var literal []string
 	for rest, last := path[1:], false; !last; {
 		var segment string
-		segment, rest, last = next(rest)
-		name, ok := nameOf(segment)
+		segment, rest, last = cutSegment(rest)
+		name, ok := parameterName(segment)
 		switch {
 		case ok && names[name]:
 			return "path", fmt.Sprintf("two parts are named {%s}", name)
@@ -163,7 +163,7 @@
 		}
 	}
 	plain := "/" + strings.Join(literal, "/")
-	switch normal, err := Normalize(plain, KeepSlashes); {
+	switch normal, err := NormalizePath(plain, KeepEncodedSlashes); {
 	case err != nil:
 		return "path", err.Error()
 	case normal != plain:
@@ -173,7 +173,7 @@
 }
 
 // nameOf returns the name of a {named} segment.
-func nameOf(segment string) (name string, ok bool) {
+func parameterName(segment string) (name string, ok bool) {
 	if len(segment) < 3 || segment[0] != '{' || segment[len(segment)-1] != '}' {
 		return "", false
 	}
@@ -182,25 +182,25 @@
 }
 
 // root returns the tree of a pattern's host.
-func (t *Table) root(host string) *node {
+func (t *Table) hostNode(host string) *node {
 	if host == "" {
-		if t.any == nil {
-			t.any = &node{}
+		if t.anyHost == nil {
+			t.anyHost = &node{}
 		}
-		return t.any
+		return t.anyHost
 	}
-	of := t.exact
-	if below, ok := strings.CutPrefix(host, "*."); ok {
-		of, host = t.suffix, below
+	nodes := t.exactHosts
+	if suffix, ok := strings.CutPrefix(host, "*."); ok {
+		nodes, host = t.hostSuffixes, suffix
 	}
-	if of[host] == nil {
-		of[host] = &node{}
+	if nodes[host] == nil {
+		nodes[host] = &node{}
 	}
-	return of[host]
+	return nodes[host]
 }
 
 // extend goes along a pattern's path, making what is missing.
-func (n *node) extend(path string) (at *node, prefix bool, named map[string]int) {
+func (n *node) insertPath(path string) (end *node, prefix bool, parameters map[string]int) {
 	if path == "" {
 		return n, true, nil
 	}
@@ -209,35 +209,35 @@
 		return n, true, nil
 	}
 	rest, last := path[1:], false
-	for place := 0; !last; place++ {
+	for position := 0; !last; position++ {
 		var segment string
-		segment, rest, last = next(rest)
-		if name, ok := nameOf(segment); ok {
-			if named == nil {
-				named = map[string]int{}
+		segment, rest, last = cutSegment(rest)
+		if name, ok := parameterName(segment); ok {
+			if parameters == nil {
+				parameters = map[string]int{}
 			}
-			named[name] = place
-			if n.named == nil {
-				n.named = &node{}
+			parameters[name] = position
+			if n.parameter == nil {
+				n.parameter = &node{}
 			}
-			n = n.named
+			n = n.parameter
 			continue
 		}
-		if n.literal == nil {
-			n.literal = map[string]*node{}
+		if n.literals == nil {
+			n.literals = map[string]*node{}
 		}
-		if n.literal[segment] == nil {
-			n.literal[segment] = &node{}
+		if n.literals[segment] == nil {
+			n.literals[segment] = &node{}
 		}
-		n = n.literal[segment]
+		n = n.literals[segment]
 	}
-	return n, prefix, named
+	return n, prefix, parameters
 }
 
 // before says whether e is more specific than o, of the same host and path.
-func (e *entry) before(o *entry) bool {
-	if e.values != o.values {
-		return e.values > o.values
+func (e *entry) moreSpecificThan(o *entry) bool {
+	if e.valuedHeaders != o.valuedHeaders {
+		return e.valuedHeaders > o.valuedHeaders
 	}
 	if len(e.headers) != len(o.headers) {
 		return len(e.headers) > len(o.headers)
@@ -246,7 +246,7 @@
 }
 
 // meets says whether one request could fit both.
-func (e *entry) meets(o *entry) bool {
+func (e *entry) overlaps(o *entry) bool {
 	if len(e.methods) > 0 && len(o.methods) > 0 &&
 		!slices.ContainsFunc(e.methods, func(m string) bool { return slices.Contains(o.methods, m) }) {
 		return false
@@ -262,9 +262,9 @@
 }
 
 // Named returns the place, from 0, of a named segment in a pattern's path; Segment tells what stands there.
-func (t *Table) Named(index int, name string) (place int, ok bool) {
-	place, ok = t.named[index][name]
-	return place, ok
+func (t *Table) ParameterIndex(index int, name string) (position int, ok bool) {
+	position, ok = t.parameters[index][name]
+	return position, ok
 }
 
 // The results of Match that are no route.
@@ -277,67 +277,67 @@
 // in the form that Host and Normalize return. It allocates nothing, and takes a time that grows with the path's
 // segments and the host's labels only, but for patterns that differ in nothing but named segments, methods or headers.
 func (t *Table) Match(host, path, method string, headers map[string][]string) int {
-	m := match{method: method, headers: headers, found: NotFound}
+	m := search{method: method, headers: headers, result: NotFound}
 	rest := path[1:]
-	if root := t.exact[host]; root != nil && m.walk(root, rest, false) {
-		return m.found
+	if root := t.exactHosts[host]; root != nil && m.walk(root, rest, false) {
+		return m.result
 	}
-	if len(t.suffix) > 0 {
-		for below := host; ; {
-			i := strings.IndexByte(below, '.')
+	if len(t.hostSuffixes) > 0 {
+		for suffix := host; ; {
+			i := strings.IndexByte(suffix, '.')
 			if i < 0 {
 				break
 			}
-			below = below[i+1:]
-			if root := t.suffix[below]; root != nil && m.walk(root, rest, false) {
-				return m.found
+			suffix = suffix[i+1:]
+			if root := t.hostSuffixes[suffix]; root != nil && m.walk(root, rest, false) {
+				return m.result
 			}
 		}
 	}
-	if t.any != nil && m.walk(t.any, rest, false) {
-		return m.found
+	if t.anyHost != nil && m.walk(t.anyHost, rest, false) {
+		return m.result
 	}
-	return m.found
+	return m.result
 }
 
-type match struct {
+type search struct {
 	method  string
 	headers map[string][]string
-	found   int
+	result  int
 }
 
 // walk looks for the most specific pattern from a node on, and says whether there is one. over says that no segment
 // is left.
-func (m *match) walk(n *node, rest string, over bool) bool {
-	if over {
-		return m.pick(n.exact) || m.pick(n.prefix)
+func (m *search) walk(n *node, rest string, atEnd bool) bool {
+	if atEnd {
+		return m.matchEntries(n.exactEntries) || m.matchEntries(n.prefixEntries)
 	}
-	segment, tail, last := next(rest)
-	if child := n.literal[segment]; child != nil && m.walk(child, tail, last) {
+	segment, remaining, last := cutSegment(rest)
+	if child := n.literals[segment]; child != nil && m.walk(child, remaining, last) {
 		return true
 	}
-	if segment != "" && n.named != nil && m.walk(n.named, tail, last) {
+	if segment != "" && n.parameter != nil && m.walk(n.parameter, remaining, last) {
 		return true
 	}
-	return m.pick(n.prefix)
+	return m.matchEntries(n.prefixEntries)
 }
 
-func (m *match) pick(list []entry) bool {
+func (m *search) matchEntries(list []entry) bool {
 	for i := range list {
 		e := &list[i]
-		if !m.fits(e.headers) {
+		if !m.matchHeaders(e.headers) {
 			continue
 		}
 		if len(e.methods) == 0 || slices.Contains(e.methods, m.method) {
-			m.found = e.index
+			m.result = e.index
 			return true
 		}
-		m.found = NotAllowed
+		m.result = NotAllowed
 	}
 	return false
 }
 
-func (m *match) fits(headers []Header) bool {
+func (m *search) matchHeaders(headers []Header) bool {
 	for _, h := range headers {
 		v := m.headers[h.Name]
 		if len(v) == 0 || h.Value != "" && v[0] != h.Value {
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -25,7 +25,7 @@
 type Routes struct {
 	Table   *route.Table
 	Routes  []Route // by the table's places
-	Slashes route.Slashes
+	Slashes route.EncodedSlashes
 	Agent   string // this instance's name in Proxy-Status
 
 	// Decisive are the headers that some route goes by: like those that always are, they must be single and may not be
@@ -166,7 +166,7 @@
 	if i := strings.IndexByte(text, '?'); i >= 0 {
 		text, query = text[:i], text[i:]
 	}
-	if path, err = route.Normalize(text, r.Slashes); err != nil {
+	if path, err = route.NormalizePath(text, r.Slashes); err != nil {
 		return "", "", "", bad(http.StatusBadRequest, "%v", err)
 	}
 	return host, path, query, nil
@@ -174,7 +174,7 @@
 
 // find returns the route of a request, or the answer to one that has none.
 func (r *Routes) find(q *http.Request, host, path string) (*Route, error) {
-	switch i := r.Table.Match(route.Host(host), path, q.Method, q.Header); i {
+	switch i := r.Table.Match(route.NormalizeHost(host), path, q.Method, q.Header); i {
 	case route.NotFound:
 		return nil, &badRequest{code: http.StatusNotFound, reason: "no route", status: "destination_not_found"}
 	case route.NotAllowed:
