Split the canary analysis by concern, one step a line

trial.go held settings, samples, statistics of ratios and the analysis in one file, with a step of 50 lines. It is now doc, settings, verdict, sample, ratio and analysis; the step is split into named conditions, and the metric of a verdict is a type.

--- /dev/null
+++ b/internal/decide/canary/sample.go
@@ -0,0 +1,51 @@
+package canary
+
+import "dunlinsail/internal/monotime"
+
+// Sample sums up the requests that ended in one slot.
+type Sample struct {
+	Duration      monotime.Micros
+	OfferedWeight float64 // sum of the requests' priority weights
+	ServedWeight  float64 // the part of it that was served within the latency objective
+	Requests      int64
+	Failed        int64 // answered with an error, or not in time; rejected requests are not counted here
+}
+
+// arm accumulates the samples of one side of the comparison.
+type arm struct {
+	duration       monotime.Micros
+	requests       float64
+	recentRequests [batchSlots]float64 // ring of the last slots
+	slots          int                 // in recentRequests so far
+
+	service  ratioSeries
+	failures ratioSeries
+}
+
+// add accumulates a sample. During a surge of demand it says nothing about service.
+func (a *arm) add(sample *Sample, surge bool) {
+	a.duration += sample.Duration
+	a.requests += float64(sample.Requests)
+	a.failures.add(float64(sample.Failed), float64(sample.Requests))
+	if !surge {
+		a.service.add(sample.ServedWeight, sample.OfferedWeight)
+	}
+}
+
+// requestRate returns the requests a microsecond.
+func (a *arm) requestRate() float64 {
+	if a.duration <= 0 {
+		return 0
+	}
+	return a.requests / float64(a.duration)
+}
+
+// observeRequests adds a slot's requests to the ring, and returns the ring's sum and the number of slots in it.
+func (a *arm) observeRequests(requests int64) (sum float64, slots int) {
+	a.recentRequests[a.slots%batchSlots] = float64(requests)
+	a.slots++
+	for _, n := range a.recentRequests {
+		sum += n
+	}
+	return sum, min(a.slots, batchSlots)
+}
