--- a/internal/decide/canary/canary_test.go
+++ b/internal/decide/canary/canary_test.go
@@ -12,33 +12,33 @@
 
 const slot = 250_000
 
-var settings = Settings{Duration: 30_000_000, MinDuration: 2_000_000, HarmMargin: 0.01, Alpha: 0.01}
+var testSettings = Settings{Duration: 30_000_000, MinDuration: 2_000_000, HarmMargin: 0.01, Alpha: 0.01}
 
 // site draws samples: so many requests a second, of which a part is in vain, by more in some slots than in others.
-type site struct {
-	rng      *rand.Rand
-	rate     float64 // a second
-	bad      float64
-	unsteady float64 // the coefficient of variation of bad from slot to slot
-	failures float64 // part of the bad ones that fail, the others are refused
-	spell    float64
-	left     int
+type trafficSource struct {
+	rng              *rand.Rand
+	rate             float64 // a second
+	unservedFraction float64
+	variation        float64 // the coefficient of variation of bad from slot to slot
+	failedFraction   float64 // part of the bad ones that fail, the others are refused
+	correlation      float64
+	slotsLeft        int
 }
 
-func (x *site) sample() Sample {
+func (x *trafficSource) sample() Sample {
 	s := Sample{Duration: slot}
 	n := int(x.rate*float64(slot)/1e6 + x.rng.Float64())
-	if x.left--; x.left <= 0 { // spells of a second or so
-		x.left = 1 + x.rng.IntN(8)
-		x.spell = math.Exp(x.unsteady*x.rng.NormFloat64() - x.unsteady*x.unsteady/2)
+	if x.slotsLeft--; x.slotsLeft <= 0 { // spells of a second or so
+		x.slotsLeft = 1 + x.rng.IntN(8)
+		x.correlation = math.Exp(x.variation*x.rng.NormFloat64() - x.variation*x.variation/2)
 	}
 	for range n {
 		worth := []float64{1, 2, 3, 5}[x.rng.IntN(4)]
 		s.Requests++
 		s.OfferedWeight += worth
-		if x.rng.Float64() >= x.bad*x.spell {
+		if x.rng.Float64() >= x.unservedFraction*x.correlation {
 			s.ServedWeight += worth
-		} else if x.rng.Float64() < x.failures {
+		} else if x.rng.Float64() < x.failedFraction {
 			s.Failed++
 		}
 	}
@@ -46,7 +46,7 @@
 }
 
 // play tries until there is a verdict.
-func play(t *testing.T, s Settings, before, after *site) (Verdict, Statistics) {
+func runToVerdict(t *testing.T, s Settings, before, after *trafficSource) (Verdict, Statistics) {
 	t.Helper()
 	x, err := NewAnalysis(s)
 	if err != nil {
@@ -66,7 +66,7 @@
 
 // What is no worse is hardly ever found to be, however steady or unsteady service is, and however often it is looked at; what
 // does harm beyond the margin is found, the sooner the worse it is.
-func TestFoundWorse(t *testing.T) {
+func TestHarmIsFoundAndNoiseIsNot(t *testing.T) {
 	const trials = 400
 	for _, tc := range []struct {
 		name                string
@@ -92,9 +92,9 @@
 			var times []float64
 			for seed := range uint64(trials) {
 				rng := rand.New(rand.NewPCG(seed, 1))
-				before := &site{rng: rng, rate: tc.rate, bad: tc.bad, unsteady: tc.unsteady, failures: 0.5}
-				after := &site{rng: rng, rate: tc.rate, bad: tc.bad + tc.harm, unsteady: tc.unsteady, failures: 0.5}
-				v, f := play(t, settings, before, after)
+				before := &trafficSource{rng: rng, rate: tc.rate, unservedFraction: tc.bad, variation: tc.unsteady, failedFraction: 0.5}
+				after := &trafficSource{rng: rng, rate: tc.rate, unservedFraction: tc.bad + tc.harm, variation: tc.unsteady, failedFraction: 0.5}
+				v, f := runToVerdict(t, testSettings, before, after)
 				if v == Degraded {
 					found++
 					times = append(times, float64(f.Duration))
@@ -120,22 +120,22 @@
 
 // Less service while more is asked for proves nothing, and takes no blame; failures do all the same. A rush that passes is
 // waited for.
-func TestRush(t *testing.T) {
-	s := settings
+func TestSurgeOfDemand(t *testing.T) {
+	s := testSettings
 	s.MaxExtensions = 2
 	rng := rand.New(rand.NewPCG(1, 1))
-	before := &site{rng: rng, rate: 100, bad: 0.001}
-	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3}); v != Inconclusive || f.Service[1] > 0.8 {
+	before := &trafficSource{rng: rng, rate: 100, unservedFraction: 0.001}
+	if v, f := runToVerdict(t, s, before, &trafficSource{rng: rng, rate: 250, unservedFraction: 0.3}); v != Inconclusive || f.Service[1] > 0.8 {
 		t.Errorf("%v, %+v", v, f)
 	}
-	if v, f := play(t, s, before, &site{rng: rng, rate: 250, bad: 0.3, failures: 0.5}); v != Degraded || f.Metric != "failures" {
+	if v, f := runToVerdict(t, s, before, &trafficSource{rng: rng, rate: 250, unservedFraction: 0.3, failedFraction: 0.5}); v != Degraded || f.Metric != "failures" {
 		t.Errorf("%v, %+v", v, f)
 	}
 	x, _ := NewAnalysis(s)
 	for range 120 {
 		x.AddBaseline(before.sample())
 	}
-	rush, after := &site{rng: rng, rate: 300, bad: 0.2}, &site{rng: rng, rate: 100, bad: 0.001}
+	rush, after := &trafficSource{rng: rng, rate: 300, unservedFraction: 0.2}, &trafficSource{rng: rng, rate: 100, unservedFraction: 0.001}
 	var v Verdict
 	for i := 0; v == Undecided; i++ {
 		from := rush
@@ -150,12 +150,12 @@
 }
 
 // Without anything to hold it against nothing is found worse; verdicts stay what they are.
-func TestNothingBefore(t *testing.T) {
-	x, err := NewAnalysis(settings)
+func TestWithoutBaseline(t *testing.T) {
+	x, err := NewAnalysis(testSettings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	bad := &site{rng: rand.New(rand.NewPCG(1, 1)), rate: 100, bad: 0.9, failures: 1}
+	bad := &trafficSource{rng: rand.New(rand.NewPCG(1, 1)), rate: 100, unservedFraction: 0.9, failedFraction: 1}
 	v := Undecided
 	for v == Undecided {
 		v, _ = x.AddCanary(bad.sample())
@@ -211,12 +211,12 @@
 	})
 }
 
-func TestSettingsThatMakeNoSense(t *testing.T) {
+func TestInvalidSettings(t *testing.T) {
 	for _, change := range []func(*Settings){
 		func(s *Settings) { s.Duration = 0 }, func(s *Settings) { s.MinDuration = s.Duration + 1 }, func(s *Settings) { s.HarmMargin = 1 },
 		func(s *Settings) { s.Alpha = 0 }, func(s *Settings) { s.Alpha = math.NaN() }, func(s *Settings) { s.MaxDemandRatio = 0.5 }, func(s *Settings) { s.MaxExtensions = -1 },
 	} {
-		s := settings
+		s := testSettings
 		change(&s)
 		if _, err := NewAnalysis(s); err == nil {
 			t.Errorf("%+v was taken", s)
@@ -225,7 +225,7 @@
 }
 
 // Where hardly anybody asks any more, that is harm, too: clients do not find their way. One quiet moment is none.
-func TestNobodyAsks(t *testing.T) {
+func TestLostClients(t *testing.T) {
 	before := make([]Sample, 40)
 	for i := range before {
 		before[i] = Sample{Duration: 250_000, OfferedWeight: 25, ServedWeight: 25, Requests: 25}
@@ -258,7 +258,7 @@
 }
 
 // What looks worse and is not surely so is tried for longer: little traffic is no proof that all is well.
-func TestLittleTraffic(t *testing.T) {
+func TestLittleTrafficIsExtended(t *testing.T) {
 	before := make([]Sample, 40)
 	for i := range before {
 		before[i] = Sample{Duration: 250_000, OfferedWeight: 2, ServedWeight: 2, Requests: 2}
