--- a/internal/consensus/boltstore.go
+++ b/internal/consensus/boltstore.go
@@ -11,11 +11,15 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// File is a Disk: a file of go.etcd.io/bbolt, which keeps a change whole or not at all and has written it when it says so.
+// BoltStore is a LogStore in a file of go.etcd.io/bbolt, whose transactions are atomic and durable. Its methods may
+// be called from many goroutines. Who opens it closes it.
+//
+// The file's form is that of earlier builds: a bucket "meta" with the keys "hard" and "snapshot", and a bucket
+// "entries" with each entry under its index (8 bytes, big endian); all values are in raft's protocol buffers.
 type BoltStore struct{ db *bbolt.DB }
 
-// ErrSpoilt is wrapped by errors of a file whose content makes no sense.
-var ErrCorrupt = errors.New("the file is spoilt")
+// ErrCorrupt is wrapped by errors of a file whose content makes no sense.
+var ErrCorrupt = errors.New("corrupt raft log file")
 
 var (
 	bucketMeta    = []byte("meta")
@@ -24,14 +28,14 @@
 	keySnapshot   = []byte("snapshot")
 )
 
-// openFor bounds how long another process that has the file open is waited for.
+// openTimeout bounds how long OpenBoltStore waits for another process that has the file open.
 const openTimeout = 2 * time.Second
 
-// OpenFile opens a file, or makes it. One process has it at a time.
+// OpenBoltStore opens a file, or makes it. One process has it open at a time.
 func OpenBoltStore(path string) (*BoltStore, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("consensus: open %s: %w", path, err)
 	}
 	err = db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{bucketMeta, bucketEntries} {
@@ -42,109 +46,133 @@
 		return nil
 	})
 	if err != nil {
-		db.Close()
-		return nil, fmt.Errorf("%s: %w", path, err)
+		_ = db.Close() // the error before says more
+		return nil, fmt.Errorf("consensus: create the buckets of %s: %w", path, err)
 	}
-	return &BoltStore{db}, nil
+	return &BoltStore{db: db}, nil
 }
 
 // Close closes the file.
-func (f *BoltStore) Close() error { return f.db.Close() }
+func (s *BoltStore) Close() error { return s.db.Close() }
 
-// Load returns what was kept.
-func (f *BoltStore) Load() (k StoredLog, blank bool, err error) {
-	err = f.db.View(func(tx *bbolt.Tx) error {
+// Load returns what is stored. Its errors wrap ErrCorrupt where the content makes no sense.
+func (s *BoltStore) Load() (stored StoredLog, empty bool, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
-		if text := meta.Get(keySnapshot); text == nil {
-			blank = true
+		snapshot := meta.Get(keySnapshot)
+		if snapshot == nil {
+			empty = true
 			return nil
-		} else if k.Snapshot = (&raftpb.Snapshot{}); proto.Unmarshal(text, k.Snapshot) != nil {
+		}
+		stored.Snapshot = &raftpb.Snapshot{}
+		if proto.Unmarshal(snapshot, stored.Snapshot) != nil {
 			return fmt.Errorf("%w: its snapshot", ErrCorrupt)
 		}
-		if text := meta.Get(keyHardState); text != nil {
-			if k.HardState = (&raftpb.HardState{}); proto.Unmarshal(text, k.HardState) != nil {
-				return fmt.Errorf("%w: its vote", ErrCorrupt)
+		if hard := meta.Get(keyHardState); hard != nil {
+			stored.HardState = &raftpb.HardState{}
+			if proto.Unmarshal(hard, stored.HardState) != nil {
+				return fmt.Errorf("%w: its hard state", ErrCorrupt)
 			}
 		}
-		last := k.Snapshot.GetMetadata().GetIndex()
-		return tx.Bucket(bucketEntries).ForEach(func(key, text []byte) error {
-			e := &raftpb.Entry{}
-			if proto.Unmarshal(text, e) != nil || len(key) != 8 || binary.BigEndian.Uint64(key) != e.GetIndex() {
-				return fmt.Errorf("%w: an entry", ErrCorrupt)
-			}
-			if e.GetIndex() <= last {
-				return nil // in the snapshot
-			}
-			if last++; e.GetIndex() != last {
-				return fmt.Errorf("%w: entry %d is missing", ErrCorrupt, last)
-			}
-			k.Entries = append(k.Entries, e)
-			return nil
-		})
+		var err error
+		stored.Entries, err = loadEntries(tx.Bucket(bucketEntries), stored.Snapshot.GetMetadata().GetIndex())
+		return err
 	})
-	return k, blank, err
+	return stored, empty, err
 }
 
-// Save keeps what is new.
-func (f *BoltStore) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
-	if hard == nil && len(entries) == 0 && snapshot.GetMetadata().GetIndex() == 0 {
+// loadEntries returns the entries after an index, or an error where one is missing.
+func loadEntries(bucket *bbolt.Bucket, after uint64) ([]*raftpb.Entry, error) {
+	var entries []*raftpb.Entry
+	last := after
+	err := bucket.ForEach(func(key, value []byte) error {
+		entry := &raftpb.Entry{}
+		if proto.Unmarshal(value, entry) != nil || len(key) != 8 || binary.BigEndian.Uint64(key) != entry.GetIndex() {
+			return fmt.Errorf("%w: an entry", ErrCorrupt)
+		}
+		if entry.GetIndex() <= last {
+			return nil // the snapshot has it
+		}
+		last++
+		if entry.GetIndex() != last {
+			return fmt.Errorf("%w: entry %d is missing", ErrCorrupt, last)
+		}
+		entries = append(entries, entry)
+		return nil
+	})
+	return entries, err
+}
+
+// Save stores what is new in one transaction.
+func (s *BoltStore) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	snapshotIndex := snapshot.GetMetadata().GetIndex()
+	if hard == nil && len(entries) == 0 && snapshotIndex == 0 {
 		return nil
 	}
-	return f.db.Update(func(tx *bbolt.Tx) error {
-		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketEntries)
-		put := func(b *bbolt.Bucket, key []byte, m proto.Message) error {
-			text, err := proto.Marshal(m)
-			if err != nil {
-				return err
-			}
-			return b.Put(key, text)
-		}
-		if snapshot.GetMetadata().GetIndex() > 0 {
-			if err := put(meta, keySnapshot, snapshot); err != nil {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(bucketMeta)
+		if snapshotIndex > 0 {
+			if err := putMessage(meta, keySnapshot, snapshot); err != nil {
 				return err
 			}
-			if err := deleteEntries(log, 0, snapshot.GetMetadata().GetIndex()+1); err != nil {
+			if err := deleteEntries(tx.Bucket(bucketEntries), 0, snapshotIndex+1); err != nil {
 				return err
 			}
 		}
 		if hard != nil {
-			if err := put(meta, keyHardState, hard); err != nil {
+			if err := putMessage(meta, keyHardState, hard); err != nil {
 				return err
 			}
 		}
-		if len(entries) > 0 {
-			// What another leader has put there is over.
-			if err := deleteEntries(log, entries[0].GetIndex(), 0); err != nil {
-				return err
-			}
-		}
-		for _, e := range entries {
-			if err := put(log, binary.BigEndian.AppendUint64(nil, e.GetIndex()), e); err != nil {
-				return err
-			}
-		}
-		return nil
+		return replaceEntries(tx.Bucket(bucketEntries), entries)
 	})
+	if err != nil {
+		return fmt.Errorf("consensus: save the raft log: %w", err)
+	}
+	return nil
 }
 
-// forget forgets entries from an index on and before another; 0 is no bound.
-func deleteEntries(log *bbolt.Bucket, from, before uint64) error {
-	var keys [][]byte
-	for c, key := log.Cursor(), []byte(nil); ; {
-		if key == nil {
-			key, _ = c.Seek(binary.BigEndian.AppendUint64(nil, from))
-		} else {
-			key, _ = c.Next()
+// replaceEntries puts entries in the place of those from the first of them on, which an earlier leader has put there.
+func replaceEntries(bucket *bbolt.Bucket, entries []*raftpb.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := deleteEntries(bucket, entries[0].GetIndex(), 0); err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := putMessage(bucket, entryKey(entry.GetIndex()), entry); err != nil {
+			return err
 		}
-		if key == nil || before > 0 && binary.BigEndian.Uint64(key) >= before {
+	}
+	return nil
+}
+
+// deleteEntries deletes the entries from an index on and before another; 0 is no bound.
+func deleteEntries(bucket *bbolt.Bucket, from, before uint64) error {
+	var keys [][]byte
+	cursor := bucket.Cursor()
+	for key, _ := cursor.Seek(entryKey(from)); key != nil; key, _ = cursor.Next() {
+		if before > 0 && binary.BigEndian.Uint64(key) >= before {
 			break
 		}
 		keys = append(keys, append([]byte(nil), key...))
 	}
+	// A bucket must not change under its cursor.
 	for _, key := range keys {
-		if err := log.Delete(key); err != nil {
+		if err := bucket.Delete(key); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+func putMessage(bucket *bbolt.Bucket, key []byte, m proto.Message) error {
+	encoded, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(key, encoded)
+}
--- a/internal/consensus/boltstore_test.go
+++ b/internal/consensus/boltstore_test.go
@@ -14,42 +14,59 @@
 	return &raftpb.Entry{Index: proto.Uint64(index), Term: proto.Uint64(term), Data: []byte("x")}
 }
 
-// What was saved is there, with what another leader put in its place; what is cut or spoilt is an error.
-func TestFile(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "order")
-	f, err := OpenBoltStore(path)
+// What was saved is loaded, with what another leader put in its place; a gap and a file of another kind are errors.
+func TestBoltStoreLoadsWhatWasSaved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	store, err := OpenBoltStore(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, blank, err := f.Load(); err != nil || !blank {
-		t.Fatalf("a new file: blank %v, %v", blank, err)
+	if _, empty, err := store.Load(); err != nil || !empty {
+		t.Fatalf("a new file: empty %v, %v", empty, err)
 	}
-	snapshot := &raftpb.Snapshot{Data: []byte("{}"), Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1)}}
-	for _, err := range []error{f.Save(&raftpb.HardState{Term: proto.Uint64(1)}, nil, snapshot),
-		f.Save(nil, []*raftpb.Entry{entryAt(2, 1), entryAt(3, 1), entryAt(4, 1)}, nil), f.Save(&raftpb.HardState{Term: proto.Uint64(2)}, []*raftpb.Entry{entryAt(3, 2)}, nil)} {
-		if err != nil {
+	snapshot := &raftpb.Snapshot{
+		Data:     []byte("{}"),
+		Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1)},
+	}
+	for _, save := range []struct {
+		term     uint64 // of the hard state; 0 is none
+		entries  []*raftpb.Entry
+		snapshot *raftpb.Snapshot
+	}{
+		{term: 1, snapshot: snapshot},
+		{entries: []*raftpb.Entry{entryAt(2, 1), entryAt(3, 1), entryAt(4, 1)}},
+		{term: 2, entries: []*raftpb.Entry{entryAt(3, 2)}},
+	} {
+		var hard *raftpb.HardState
+		if save.term > 0 {
+			hard = &raftpb.HardState{Term: proto.Uint64(save.term)}
+		}
+		if err := store.Save(hard, save.entries, save.snapshot); err != nil {
 			t.Fatal(err)
 		}
 	}
-	f.Close()
-	if f, err = OpenBoltStore(path); err != nil {
+	store.Close()
+	if store, err = OpenBoltStore(path); err != nil {
 		t.Fatal(err)
 	}
-	k, blank, err := f.Load()
-	if err != nil || blank || len(k.Entries) != 2 || k.Entries[1].GetTerm() != 2 || k.HardState.GetTerm() != 2 {
-		t.Fatalf("%+v, blank %v, %v", k, blank, err)
+	stored, empty, err := store.Load()
+	if err != nil || empty {
+		t.Fatalf("empty %v, %v", empty, err)
+	}
+	if len(stored.Entries) != 2 || stored.Entries[1].GetTerm() != 2 || stored.HardState.GetTerm() != 2 {
+		t.Fatalf("%+v", stored)
 	}
-	if err := f.Save(nil, []*raftpb.Entry{entryAt(6, 2)}, nil); err != nil { // 4 and 5 are missing
+	if err := store.Save(nil, []*raftpb.Entry{entryAt(6, 2)}, nil); err != nil { // 4 and 5 are missing
 		t.Fatal(err)
 	}
-	if _, _, err := f.Load(); !errors.Is(err, ErrCorrupt) {
-		t.Errorf("a hole: %v", err)
+	if _, _, err := store.Load(); !errors.Is(err, ErrCorrupt) {
+		t.Errorf("a gap: %v", err)
 	}
-	f.Close()
+	store.Close()
 	if err := os.WriteFile(path, []byte("not a file of that kind"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := OpenBoltStore(path); err == nil {
-		t.Error("a spoilt file is opened")
+		t.Error("a file of another kind is opened")
 	}
 }
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -14,138 +14,195 @@
 	"dunlinsail/internal/monotime"
 )
 
-// memory is a disk that outlives its process.
-type memory struct {
+// memoryStore is a LogStore that outlives its process.
+type memoryStore struct {
 	hard     *raftpb.HardState
 	snapshot *raftpb.Snapshot
 	entries  []*raftpb.Entry
 	broken   bool
 }
 
-var errBroken = errors.New("the disk is full")
+var errDiskFull = errors.New("the disk is full")
 
-func (m *memory) Load() (StoredLog, bool, error) {
-	if m.broken {
-		return StoredLog{}, false, errBroken
+func (s *memoryStore) Load() (StoredLog, bool, error) {
+	if s.broken {
+		return StoredLog{}, false, errDiskFull
 	}
-	if m.snapshot == nil {
+	if s.snapshot == nil {
 		return StoredLog{}, true, nil
 	}
-	return StoredLog{m.hard, m.snapshot, slices.Clone(m.entries)}, false, nil
+	return StoredLog{HardState: s.hard, Snapshot: s.snapshot, Entries: slices.Clone(s.entries)}, false, nil
 }
 
-func (m *memory) Save(hard *raftpb.HardState, entries []*raftpb.Entry, s *raftpb.Snapshot) error {
-	if m.broken {
-		return errBroken
+func (s *memoryStore) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	if s.broken {
+		return errDiskFull
 	}
 	if hard != nil {
-		m.hard = proto.Clone(hard).(*raftpb.HardState)
+		s.hard = proto.Clone(hard).(*raftpb.HardState)
 	}
-	if s.GetMetadata().GetIndex() > 0 {
-		m.snapshot = s
-		m.entries = slices.DeleteFunc(m.entries, func(e *raftpb.Entry) bool { return e.GetIndex() <= s.GetMetadata().GetIndex() })
+	if index := snapshot.GetMetadata().GetIndex(); index > 0 {
+		s.snapshot = snapshot
+		s.entries = slices.DeleteFunc(s.entries, func(e *raftpb.Entry) bool { return e.GetIndex() <= index })
 	}
 	if len(entries) > 0 {
 		first := entries[0].GetIndex()
-		m.entries = append(slices.DeleteFunc(m.entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first }), entries...)
+		s.entries = slices.DeleteFunc(s.entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+		s.entries = append(s.entries, entries...)
 	}
 	return nil
 }
 
-var bounds = maintenance.Settings{MaxOut: 2, MaxOutPerZone: 1, MaxAnnounced: 4, Headroom: 0.1, LeaseDuration: second, InFlightGrace: second / 2, Warmup: second, MaxClockDrift: 0.005}
-
-// process is an instance in the world: while it runs it has requests open at machines.
-type process struct {
-	name   string
-	node   *Node
-	up     bool
-	asleep float64
-	rate   float64
-	zero   float64
-	disk   *memory
-	open   map[string]float64 // machines, by until when a request is open there
-	former map[string]float64 // the same of processes whose place this one took over while they served
+var testSettings = maintenance.Settings{
+	MaxOut: 2, MaxOutPerZone: 1, MaxAnnounced: 4, Headroom: 0.1,
+	LeaseDuration: monotime.Second, InFlightGrace: monotime.Second / 2, Warmup: monotime.Second, MaxClockDrift: 0.005,
 }
 
-func (p *process) clock(now float64) monotime.Micros { return monotime.Micros((now - p.zero) * p.rate) }
+// instance is a simulated instance, whose requests are in flight at machines while it runs.
+type instance struct {
+	name        string
+	node        *Node
+	running     bool
+	pausedUntil float64
+	clockRate   float64
+	clockZero   float64
+	store       *memoryStore       // nil is no voter
+	inFlight    map[string]float64 // until when a request is in flight, by machine
+	predecessor map[string]float64 // the same of the process whose place this one took over while it served
+}
+
+func (p *instance) clock(now float64) monotime.Micros {
+	return monotime.Micros((now - p.clockZero) * p.clockRate)
+}
 
-type message struct {
+// delivery is a message under way.
+type delivery struct {
 	at       float64
-	from, to *process
-	w        Message
+	from, to *instance
+	message  Message
 }
 
-type world struct {
-	t        testing.TB
-	rng      *rand.Rand
-	now      float64
-	all      []*process
-	voters   []string
-	words    []message
-	cut      map[[2]string]bool
-	loss     float64
-	lives    uint64
-	machines []maintenance.MachineStatus
-	turn     monotime.Micros
-	best     *process // whose state is applied furthest
-	plant    string
-	sends    int
-	bad      string
+// fault is a planted error that the cluster's checks must find.
+type fault string
+
+const (
+	noFault              fault = ""
+	faultIgnoresPlan     fault = "an instance ignores the plan"
+	faultSendsUnplanned  fault = "an instance sends before it has a plan"
+	faultSlowClock       fault = "leases outlive their time"
+	faultIgnoresAnnounce fault = "an instance without a lease excludes no machine"
+)
+
+// cluster simulates a fleet: processes, clocks, the network between instances, and the requests that they send to
+// machines. Times are in microseconds.
+type cluster struct {
+	t            testing.TB
+	rng          *rand.Rand
+	now          float64
+	instances    []*instance
+	voters       []string
+	deliveries   []delivery
+	cut          map[[2]string]bool // from, to
+	loss         float64
+	incarnations uint64
+	machines     []maintenance.MachineStatus
+	tickInterval monotime.Micros
+	furthest     *instance // whose state is applied furthest
+	fault        fault
+	sent         int
+	violation    string // the first that check has found
 }
 
-func newWorld(t testing.TB, voters, others int, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 5)), cut: map[[2]string]bool{}, turn: second / 20}
+func newCluster(t testing.TB, voters, others int, seed uint64) *cluster {
+	c := &cluster{
+		t:            t,
+		rng:          rand.New(rand.NewPCG(seed, 5)),
+		cut:          map[[2]string]bool{},
+		tickInterval: monotime.Second / 20,
+	}
 	if seed%2 == 1 {
-		w.turn = second / 5 // one that is cut off goes on to think that it leads for longer than a lease
+		// A leader that is cut off goes on to think that it leads for longer than a lease.
+		c.tickInterval = monotime.Second / 5
 	}
 	for i := range 8 {
-		w.machines = append(w.machines, maintenance.MachineStatus{Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4), Kind: "k", Cell: i % 4, Capacity: 1, Healthy: true})
+		c.machines = append(c.machines, maintenance.MachineStatus{
+			Name: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4), Kind: "k", Cell: i % 4, Capacity: 1, Healthy: true,
+		})
 	}
 	for i := range voters + others {
-		p := &process{name: fmt.Sprint("i", i)}
+		p := &instance{name: fmt.Sprint("i", i)}
 		if i < voters {
-			w.voters = append(w.voters, p.name)
-			p.disk = &memory{}
+			c.voters = append(c.voters, p.name)
+			p.store = &memoryStore{}
 		}
-		w.all = append(w.all, p)
+		c.instances = append(c.instances, p)
 	}
-	for _, p := range w.all {
-		w.start(p)
+	for _, p := range c.instances {
+		c.start(p)
 	}
-	return w
+	return c
+}
+
+func (c *cluster) start(p *instance) {
+	c.incarnations++
+	p.clockRate = 1 + 0.005*(2*c.rng.Float64()-1)
+	p.clockZero = c.now - 1e6*c.rng.Float64()
+	p.running = true
+	p.pausedUntil = 0
+	p.inFlight = map[string]float64{}
+	p.predecessor = nil
+	if c.fault == faultSlowClock && p.name != "i1" {
+		p.clockRate *= 0.3
+	}
+	var store LogStore
+	if p.store != nil {
+		store = p.store
+	}
+	node, err := New(p.clock(c.now), c.settingsOf(p), c.incarnations, store)
+	if err != nil && node == nil {
+		c.t.Fatal(err)
+	}
+	c.attach(p, node)
+}
+
+func (c *cluster) settingsOf(p *instance) Settings {
+	return Settings{Self: p.name, Voters: c.voters, Maintenance: testSettings, TickInterval: c.tickInterval}
 }
 
-func (w *world) start(p *process) {
-	w.lives++
-	p.rate, p.zero = 1+0.005*(2*w.rng.Float64()-1), w.now-1e6*w.rng.Float64()
-	p.up, p.asleep, p.open, p.former = true, 0, map[string]float64{}, nil
-	s := bounds
-	if w.plant == "leases outlive their time" && p.name != "i1" {
-		p.rate *= 0.3
-	}
-	var disk LogStore
-	if p.disk != nil {
-		disk = p.disk
-	}
-	n, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Maintenance: s, TickInterval: w.turn}, w.lives, disk)
-	if err != nil && n == nil {
-		w.t.Fatal(err)
-	}
-	p.node = n
-	n.SetSources(func() maintenance.FleetStatus {
-		return maintenance.FleetStatus{Machines: w.machines, Usage: 3, PeakUsage: 3}
-	}, func(m string) int {
-		if p.open[m] > w.now {
+// attach has an instance run a node.
+func (c *cluster) attach(p *instance, node *Node) {
+	p.node = node
+	status := func() maintenance.FleetStatus {
+		return maintenance.FleetStatus{Machines: c.machines, Usage: 3, PeakUsage: 3}
+	}
+	node.SetSources(status, func(machine string) int {
+		if p.inFlight[machine] > c.now {
 			return 1
 		}
 		return 0
 	})
 }
 
-func (w *world) kill(p *process) { p.up = false }
+func (c *cluster) kill(p *instance) { p.running = false }
 
-func (w *world) find(name string) *process {
-	for _, p := range w.all {
+// isolate cuts the messages of an instance to all others, and from them where both is set.
+func (c *cluster) isolate(p *instance, both bool) {
+	for _, other := range c.instances {
+		c.cut[[2]string{p.name, other.name}] = true
+		if both {
+			c.cut[[2]string{other.name, p.name}] = true
+		}
+	}
+}
+
+// heal ends all faults of the network.
+func (c *cluster) heal() {
+	clear(c.cut)
+	c.loss = 0
+}
+
+func (c *cluster) find(name string) *instance {
+	for _, p := range c.instances {
 		if p.name == name {
 			return p
 		}
@@ -153,231 +210,256 @@
 	return nil
 }
 
-func (w *world) flush(p *process) {
-	for _, o := range p.node.TakeOutgoing() {
-		to := w.find(o.To)
-		if to == nil || w.rng.Float64() < w.loss {
+// sendMessages puts an instance's messages on their way.
+func (c *cluster) sendMessages(p *instance) {
+	for _, out := range p.node.TakeOutgoing() {
+		to := c.find(out.To)
+		if to == nil || c.rng.Float64() < c.loss {
 			continue
 		}
-		d := 200 + 1000*w.rng.ExpFloat64()
-		if w.rng.Float64() < w.loss {
-			d += 3e6 * w.rng.Float64()
+		delay := 200 + 1000*c.rng.ExpFloat64()
+		if c.rng.Float64() < c.loss {
+			delay += 3e6 * c.rng.Float64()
 		}
-		w.words = append(w.words, message{w.now + d, p, to, o.Message})
+		c.deliveries = append(c.deliveries, delivery{at: c.now + delay, from: p, to: to, message: out.Message})
 	}
 }
 
-// step goes on by a while: words arrive, clocks ring, and each process sends where it may.
-func (w *world) step(d float64) {
-	w.now += d
-	due := w.words
-	w.words = nil
-	for _, m := range due {
+// step goes on by a while: messages arrive, timers fire, and each instance sends requests where it may.
+func (c *cluster) step(d float64) {
+	c.now += d
+	underWay := c.deliveries
+	c.deliveries = nil
+	for _, m := range underWay {
 		switch {
-		case m.at > w.now || m.to.asleep > w.now:
-			w.words = append(w.words, m)
-		case m.to.up && !w.cut[[2]string{m.from.name, m.to.name}]:
-			m.to.node.Receive(m.to.clock(w.now), m.from.name, m.w)
-			w.flush(m.to)
+		case m.at > c.now || m.to.pausedUntil > c.now:
+			c.deliveries = append(c.deliveries, m)
+		case m.to.running && !c.cut[[2]string{m.from.name, m.to.name}]:
+			m.to.node.Receive(m.to.clock(c.now), m.from.name, m.message)
+			c.sendMessages(m.to)
 		}
 	}
-	for _, p := range w.all {
-		if !p.up || p.asleep > w.now {
+	for _, p := range c.instances {
+		if !p.running || p.pausedUntil > c.now {
 			continue
 		}
-		if now := p.clock(w.now); now >= p.node.NextTick() {
+		if now := p.clock(c.now); now >= p.node.NextTick() {
 			p.node.Tick(now)
-			w.flush(p)
+			c.sendMessages(p)
 		}
-		w.send(p)
-		if p.node.rawNode != nil && (w.best == nil || !w.best.up || p.node.appliedIndex >= w.best.node.appliedIndex) {
-			w.best = p
+		c.sendRequest(p)
+		if p.node.rawNode == nil {
+			continue
+		}
+		if c.furthest == nil || !c.furthest.running || p.node.appliedIndex >= c.furthest.node.appliedIndex {
+			c.furthest = p
 		}
 	}
-	w.check()
+	c.check()
 }
 
-// send has a process send to a machine where its duty lets it, and end what has to end.
-func (w *world) send(p *process) {
-	d := p.node.Follower()
-	now := p.clock(w.now)
-	out := d.ExcludedMachines(now)
-	if d.MustEndInFlight(now) {
-		for _, m := range out {
-			delete(p.open, m)
+// sendRequest has an instance send a request to a machine where its follower lets it, and end what has to end.
+func (c *cluster) sendRequest(p *instance) {
+	follower := p.node.Follower()
+	now := p.clock(c.now)
+	excluded := follower.ExcludedMachines(now)
+	if follower.MustEndInFlight(now) {
+		for _, machine := range excluded {
+			delete(p.inFlight, machine)
 		}
 	}
-	if !d.HasPlan() && w.plant != "sends before it hears" {
+	if !follower.HasPlan() && c.fault != faultSendsUnplanned {
 		return
 	}
-	m := w.machines[w.rng.IntN(len(w.machines))].Name
-	if w.plant == "does not obey" && p.name == "i4" {
-		out = nil
+	machine := c.machines[c.rng.IntN(len(c.machines))].Name
+	if c.fault == faultIgnoresPlan && p.name == "i4" {
+		excluded = nil
 	}
-	if w.plant == "only what is out" {
-		out = d.ExcludedMachines(0)
-		out = slices.DeleteFunc(out, func(string) bool { return true })
-		if p.node.Follower() != nil {
-			out = stopOnly(d, now)
-		}
+	if c.fault == faultIgnoresAnnounce {
+		excluded = excludedUnderLease(follower, now)
 	}
-	if !slices.Contains(out, m) {
-		p.open[m] = w.now + 200_000*w.rng.ExpFloat64()
-		w.sends++
+	if !slices.Contains(excluded, machine) {
+		p.inFlight[machine] = c.now + 200_000*c.rng.ExpFloat64()
+		c.sent++
 	}
 }
 
-// stopOnly is what nothing new may go to while an order holds: a process without one that goes on with it is the error that is planted.
-func stopOnly(d *maintenance.Follower, now monotime.Micros) (out []string) {
-	all := d.ExcludedMachines(now)
-	held := d.ExcludedMachines(now - 10*second)
-	for _, m := range all {
-		if slices.Contains(held, m) {
-			out = append(out, m)
+// excludedUnderLease returns what nothing new may go to while a lease lasts: an instance without one that goes by it
+// is the fault.
+func excludedUnderLease(follower *maintenance.Follower, now monotime.Micros) (excluded []string) {
+	underLease := follower.ExcludedMachines(now - 10*monotime.Second)
+	for _, machine := range follower.ExcludedMachines(now) {
+		if slices.Contains(underLease, machine) {
+			excluded = append(excluded, machine)
 		}
 	}
-	return out
+	return excluded
 }
 
-// check holds all processes against the order as far as any voter has applied it: at a machine that is at work nothing is open, and bounds hold.
-func (w *world) check() {
-	if w.best == nil || w.bad != "" {
+// check holds all instances against the state that a voter has applied furthest: nothing is in flight at a machine
+// under maintenance, and no bound is broken.
+func (c *cluster) check() {
+	if c.furthest == nil || c.violation != "" {
 		return
 	}
-	x := w.best.node.State()
-	out := map[string]int{}
-	n := 0
-	for name, i := range x.Machines {
-		if i.Phase < maintenance.Draining || i.Phase == maintenance.Returning {
-			continue
-		}
-		n++
-		out[w.machines[slices.IndexFunc(w.machines, func(m maintenance.MachineStatus) bool { return m.Name == name })].Zone]++
-		if i.Phase != maintenance.UnderMaintenance {
+	outOfZone := map[string]int{}
+	out := 0
+	for name, m := range c.furthest.node.State().Machines {
+		if m.Phase < maintenance.Draining || m.Phase == maintenance.Returning {
 			continue
 		}
-		for _, p := range w.all {
-			if p.up && (p.open[name] > w.now || p.former[name] > w.now) {
-				w.bad = fmt.Sprintf("%s has something open at %s, which is at work, at %.0f", p.name, name, w.now)
-			}
+		out++
+		outOfZone[c.zoneOf(name)]++
+		if m.Phase == maintenance.UnderMaintenance {
+			c.checkNothingInFlight(name)
 		}
 	}
-	for zone, k := range out {
-		if k > bounds.MaxOutPerZone {
-			w.bad = fmt.Sprintf("%d of zone %s are out", k, zone)
+	for zone, count := range outOfZone {
+		if count > testSettings.MaxOutPerZone {
+			c.violation = fmt.Sprintf("%d of zone %s are out", count, zone)
 		}
 	}
-	if n > bounds.MaxOut {
-		w.bad = fmt.Sprintf("%d are out", n)
+	if out > testSettings.MaxOut {
+		c.violation = fmt.Sprintf("%d are out", out)
 	}
 }
 
-func (w *world) run(d float64) {
-	for end := w.now + d; w.now < end && w.bad == ""; {
-		w.step(5000)
+func (c *cluster) checkNothingInFlight(machine string) {
+	for _, p := range c.instances {
+		if p.running && (p.inFlight[machine] > c.now || p.predecessor[machine] > c.now) {
+			c.violation = fmt.Sprintf("%s has a request in flight at %s, which is under maintenance, at %.0f",
+				p.name, machine, c.now)
+		}
 	}
-	if w.bad != "" && w.plant == "" {
-		w.t.Fatal(w.bad)
+}
+
+func (c *cluster) zoneOf(machine string) string {
+	i := slices.IndexFunc(c.machines, func(m maintenance.MachineStatus) bool { return m.Name == machine })
+	return c.machines[i].Zone
+}
+
+func (c *cluster) run(d float64) {
+	for end := c.now + d; c.now < end && c.violation == ""; {
+		c.step(5000)
+	}
+	if c.violation != "" && c.fault == noFault {
+		c.t.Fatal(c.violation)
 	}
 }
 
-// say has an operator say something at an instance until it is answered.
-func (w *world) say(at string, order maintenance.Command) OperatorReply {
-	p := w.find(at)
+// submit submits an operator's command at an instance until it has a reply.
+func (c *cluster) submit(at string, command maintenance.Command) OperatorReply {
+	c.t.Helper()
+	p := c.find(at)
 	for range 40 {
-		number := p.node.Submit(p.clock(w.now), order)
-		w.flush(p)
+		number := p.node.Submit(p.clock(c.now), command)
+		c.sendMessages(p)
 		for range 100 {
-			w.run(5000)
-			if r, ok := p.node.TakeReply(number); ok {
-				return r
+			c.run(5000)
+			if reply, ok := p.node.TakeReply(number); ok {
+				return reply
 			}
 		}
 	}
-	w.t.Fatal("an operator is not answered")
+	c.t.Fatal("an operator gets no reply")
 	return OperatorReply{}
 }
 
-// finish works through all that was asked for, and says what is left after so long.
-func (w *world) finish(d float64) (left int) {
-	for end := w.now + d; w.now < end && w.bad == ""; {
-		w.run(1e5)
-		if w.best == nil {
+// request submits a request for machines at the instance that is no voter.
+func (c *cluster) request(id string, machines ...string) OperatorReply {
+	c.t.Helper()
+	return c.submit("i3", maintenance.Command{Request: &maintenance.Request{
+		ID: id, Machines: machines, Duration: 60 * monotime.Second, Reason: "kernel", Requester: "ana",
+	}})
+}
+
+// finish completes the work on each machine as it comes to be done, and returns how many machines are left after so
+// long.
+func (c *cluster) finish(d float64) (left int) {
+	for end := c.now + d; c.now < end && c.violation == ""; {
+		c.run(1e5)
+		if c.furthest == nil {
 			continue
 		}
-		x := w.best.node.State()
-		for _, i := range x.Machines {
-			if i.Phase == maintenance.UnderMaintenance && w.now/1e6 > 0 {
-				w.say(w.best.name, maintenance.Command{Complete: &maintenance.Completion{Request: i.Requests[0], Machine: i.Name}})
+		for _, m := range c.furthest.node.State().Machines {
+			if m.Phase == maintenance.UnderMaintenance {
+				c.submit(c.furthest.name, completionOf(m))
 				break
 			}
 		}
-		if x = w.best.node.State(); len(x.Machines) == 0 {
+		if len(c.furthest.node.State().Machines) == 0 {
 			return 0
 		}
 	}
-	return len(w.best.node.State().Machines)
+	return len(c.furthest.node.State().Machines)
 }
 
-func (w *world) ask(id string, machines ...string) OperatorReply {
-	return w.say("i3", maintenance.Command{Request: &maintenance.Request{ID: id, Machines: machines, Duration: 60 * second, Reason: "kernel", Requester: "ana"}})
+func completionOf(m *maintenance.Machine) maintenance.Command {
+	return maintenance.Command{Complete: &maintenance.Completion{Request: m.Requests[0], Machine: m.Name}}
 }
 
-func (w *world) names() (all []string) {
-	for _, m := range w.machines {
-		all = append(all, m.Name)
+func (c *cluster) machineNames() (names []string) {
+	for _, m := range c.machines {
+		names = append(names, m.Name)
 	}
-	return all
+	return names
 }
 
-// faults breaks things for a while, with work going on.
-func (w *world) faults(turns int) {
-	for range turns {
-		p := w.all[w.rng.IntN(len(w.all))]
-		switch w.rng.IntN(9) {
-		case 8: // another process takes over; the one before it ends what it has open
-			former := p.open
-			for m, until := range former {
-				former[m] = min(until, w.now+1.4e6) // within a lease and the while after it
-			}
-			w.start(p)
-			p.former = former
-		case 0, 1:
-			w.kill(p)
-			w.run(w.rng.Float64() * 2e6)
-			w.start(p)
-		case 2:
-			p.asleep = w.now + w.rng.Float64()*5e6
-		case 3:
-			for _, o := range w.all {
-				w.cut[[2]string{p.name, o.name}], w.cut[[2]string{o.name, p.name}] = true, true
-			}
-		case 4:
-			for _, o := range w.all {
-				w.cut[[2]string{p.name, o.name}] = true
-			}
-		case 5:
-			clear(w.cut)
-		case 6:
-			for _, o := range w.all {
-				w.kill(o)
-			}
-			w.run(w.rng.Float64() * 1e6)
-			for _, o := range w.all {
-				w.start(o)
-			}
-		case 7:
-			w.loss = w.rng.Float64() * 0.2
+// injectFaults breaks things for a number of rounds, with maintenance going on.
+func (c *cluster) injectFaults(rounds int) {
+	for range rounds {
+		c.injectFault(c.instances[c.rng.IntN(len(c.instances))])
+		c.run(c.rng.Float64() * 3e6)
+		p := c.furthest
+		if c.violation != "" || p == nil || !p.running || p.pausedUntil >= c.now {
+			continue
 		}
-		w.run(w.rng.Float64() * 3e6)
-		if w.bad == "" && w.best != nil && w.best.up && w.best.asleep < w.now {
-			for _, i := range w.best.node.State().Machines {
-				if i.Phase == maintenance.UnderMaintenance && w.rng.IntN(2) == 0 {
-					n := w.best.node
-					n.Submit(w.best.clock(w.now), maintenance.Command{Complete: &maintenance.Completion{Request: i.Requests[0], Machine: i.Name}})
-					w.flush(w.best)
-				}
+		for _, m := range p.node.State().Machines {
+			if m.Phase == maintenance.UnderMaintenance && c.rng.IntN(2) == 0 {
+				p.node.Submit(p.clock(c.now), completionOf(m))
+				c.sendMessages(p)
 			}
 		}
 	}
 }
+
+// injectFault breaks one thing, at an instance where it concerns one.
+func (c *cluster) injectFault(p *instance) {
+	switch c.rng.IntN(9) {
+	case 0, 1:
+		c.kill(p)
+		c.run(c.rng.Float64() * 2e6)
+		c.start(p)
+	case 2:
+		p.pausedUntil = c.now + c.rng.Float64()*5e6
+	case 3:
+		c.isolate(p, true)
+	case 4:
+		c.isolate(p, false)
+	case 5:
+		clear(c.cut)
+	case 6:
+		for _, other := range c.instances {
+			c.kill(other)
+		}
+		c.run(c.rng.Float64() * 1e6)
+		for _, other := range c.instances {
+			c.start(other)
+		}
+	case 7:
+		c.loss = c.rng.Float64() * 0.2
+	case 8:
+		c.hotRestart(p)
+	}
+}
+
+// hotRestart has another process take an instance's place; the one before it ends its requests within a lease and the
+// grace time.
+func (c *cluster) hotRestart(p *instance) {
+	predecessor := p.inFlight
+	for machine, until := range predecessor {
+		predecessor[machine] = min(until, c.now+1.4e6)
+	}
+	c.start(p)
+	p.predecessor = predecessor
+}
--- a/internal/consensus/encoding_test.go
+++ b/internal/consensus/encoding_test.go
@@ -10,15 +10,18 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3/raftpb"
 
 	"dunlinsail/internal/decide/maintenance"
+	"dunlinsail/internal/monotime"
 )
 
-// The files under testdata/encoded and testdata/stored were written by the build of commit 870f4ac, before any tag was set on these
-// structures. They are what a voter of that build sends, stores and shows to operators: they are read here and must never be rewritten.
+// The files under testdata/encoded and testdata/stored were written by the build of commit 870f4ac, before any tag
+// was set on these structures. They are what a voter of that build sends, stores and shows to operators: they are
+// read here and must never be rewritten.
 
-// fill sets every exported field under v to a value of its own, and returns the number after the last one used. Maps get one key, slices
-// two elements: their encodings then do not depend on the order of a map.
+// fill sets every exported field under v to a value of its own, and returns the number after the last one used. Maps
+// get one key, slices two elements: their encodings then do not depend on the order of a map.
 func fill(t testing.TB, v reflect.Value, next int) int {
 	t.Helper()
 	switch v.Kind() {
@@ -60,7 +63,8 @@
 	return next + 1
 }
 
-// encoded returns an empty value of each type that instances send each other, the log holds, or an operator's call carries.
+// encoded returns an empty value of each type that instances send each other, the log holds, or an operator's call
+// carries.
 func encoded() map[string]any {
 	return map[string]any{
 		"word":  &Message{},
@@ -70,7 +74,7 @@
 	}
 }
 
-// gossipEncoding is that of package peers, which carries words.
+// gossipEncoding is that of package peers, which carries the messages.
 func gossipEncoding(t testing.TB) cbor.EncMode {
 	t.Helper()
 	mode, err := cbor.EncOptions{Sort: cbor.SortNone, ShortestFloat: cbor.ShortestFloat16}.EncMode()
@@ -80,8 +84,8 @@
 	return mode
 }
 
-// A stored or sent structure has the same bytes as by the build before its fields had tags, in JSON and in CBOR, and those bytes have every
-// field come back.
+// A stored or sent structure has the same bytes as by the build before its fields had tags, in JSON and in CBOR, and
+// those bytes have every field come back.
 func TestEncodedFormIsThatOfTheBuildBefore(t *testing.T) {
 	strict, err := cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 	if err != nil {
@@ -127,33 +131,28 @@
 	}
 }
 
-// A voter started on a file of the build before has the state that a voter of that build had of it, and would store the same bytes.
+// A voter started on a file of the build before has the state that a voter of that build had of it, and would store
+// the same bytes.
 func TestVoterGoesOnFromAFileOfTheBuildBefore(t *testing.T) {
 	for _, name := range []string{"i0", "i1", "i2"} {
 		t.Run(name, func(t *testing.T) {
-			disk := openStored(t, name)
-			kept, blank, err := disk.Load()
-			if err != nil || blank {
-				t.Fatalf("blank %v, %v", blank, err)
+			store := openStored(t, name)
+			stored, empty, err := store.Load()
+			if err != nil || empty {
+				t.Fatalf("empty %v, %v", empty, err)
 			}
-			if len(kept.Entries) == 0 || kept.Snapshot.GetMetadata().GetIndex() < 2 {
+			if len(stored.Entries) == 0 || stored.Snapshot.GetMetadata().GetIndex() < 2 {
 				t.Fatal("the file has no entries, or no snapshot but the first")
 			}
-			for _, e := range kept.Entries {
-				if len(e.GetData()) == 0 {
-					continue
-				}
-				var x logEntry
-				d := json.NewDecoder(bytes.NewReader(e.GetData()))
-				d.DisallowUnknownFields()
-				if err := d.Decode(&x); err != nil {
-					t.Fatal(err)
-				}
-				if text, err := json.Marshal(x); err != nil || !bytes.Equal(text, e.GetData()) {
-					t.Errorf("entry %d is encoded as\n%s\nit was\n%s", e.GetIndex(), text, e.GetData())
-				}
+			for _, entry := range stored.Entries {
+				checkEntryForm(t, entry)
 			}
-			node, err := New(0, Settings{Self: name, Voters: []string{"i0", "i1", "i2"}, Maintenance: bounds, TickInterval: second / 20}, 7, disk)
+			node, err := New(0, Settings{
+				Self:         name,
+				Voters:       []string{"i0", "i1", "i2"},
+				Maintenance:  testSettings,
+				TickInterval: monotime.Second / 20,
+			}, 7, store)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -161,57 +160,67 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if !bytes.Equal(restored, kept.Snapshot.GetData()) {
-				t.Errorf("the snapshot is encoded as\n%s\nit was\n%s", restored, kept.Snapshot.GetData())
+			if !bytes.Equal(restored, stored.Snapshot.GetData()) {
+				t.Errorf("the snapshot is encoded as\n%s\nit was\n%s", restored, stored.Snapshot.GetData())
 			}
 			node.Tick(0)
 			got, err := json.Marshal(node.State())
 			if err != nil {
 				t.Fatal(err)
 			}
-			if want := readGolden(t, filepath.Join("stored", "voter-"+name+".state.json")); !bytes.Equal(got, want) {
+			want := readGolden(t, filepath.Join("stored", "voter-"+name+".state.json"))
+			if !bytes.Equal(got, want) {
 				t.Errorf("the state is\n%s\nby the build before it was\n%s", got, want)
 			}
 		})
 	}
 }
 
+// checkEntryForm checks that this build encodes an entry of the log as the build before did.
+func checkEntryForm(t *testing.T, stored *raftpb.Entry) {
+	t.Helper()
+	if len(stored.GetData()) == 0 {
+		return // raft's own
+	}
+	var entry logEntry
+	d := json.NewDecoder(bytes.NewReader(stored.GetData()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&entry); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := json.Marshal(entry); err != nil || !bytes.Equal(text, stored.GetData()) {
+		t.Errorf("entry %d is encoded as\n%s\nit was\n%s", stored.GetIndex(), text, stored.GetData())
+	}
+}
+
 // Three voters on files of the build before elect a leader and finish the work that was asked for at that build.
 func TestFleetGoesOnFromFilesOfTheBuildBefore(t *testing.T) {
-	w := newWorld(t, 3, 1, 4)
-	for _, p := range w.all[:3] {
-		node, err := New(p.clock(w.now), Settings{Self: p.name, Voters: w.voters, Maintenance: bounds, TickInterval: w.turn}, w.lives+1, openStored(t, p.name))
+	c := newCluster(t, 3, 1, 4)
+	for _, p := range c.instances[:3] {
+		c.incarnations++
+		node, err := New(p.clock(c.now), c.settingsOf(p), c.incarnations, openStored(t, p.name))
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.lives++
-		attach(w, p, node)
+		c.attach(p, node)
+	}
+	c.run(5e6)
+	if c.furthest == nil {
+		t.Fatal("no voter has a log")
 	}
-	w.run(5e6)
-	if w.best == nil || w.best.node.State().Requests["night"] == nil || w.best.node.State().Requests["disk"] == nil {
+	requests := c.furthest.node.State().Requests
+	if requests["night"] == nil || requests["disk"] == nil {
 		t.Fatal("what was asked for at the build before is not known")
 	}
-	if r := w.say("i3", maintenance.Command{Hold: &maintenance.Hold{Request: "disk"}}); r.Error != "" {
-		t.Fatal(r.Error)
+	release := maintenance.Command{Hold: &maintenance.Hold{Request: "disk"}}
+	if reply := c.submit("i3", release); reply.Error != "" {
+		t.Fatal(reply.Error)
 	}
-	if left := w.finish(120e6); left != 0 {
-		t.Errorf("%d are left: %+v", left, w.best.node.State().Machines)
+	if left := c.finish(120e6); left != 0 {
+		t.Errorf("%d are left: %+v", left, c.furthest.node.State().Machines)
 	}
 }
 
-// attach has a process of the world run by a node.
-func attach(w *world, p *process, node *Node) {
-	p.node = node
-	node.SetSources(func() maintenance.FleetStatus {
-		return maintenance.FleetStatus{Machines: w.machines, Usage: 3, PeakUsage: 3}
-	}, func(machine string) int {
-		if p.open[machine] > w.now {
-			return 1
-		}
-		return 0
-	})
-}
-
 // openStored opens a copy of the file that a voter of the build before has left.
 func openStored(t testing.TB, name string) *BoltStore {
 	t.Helper()
@@ -219,16 +228,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "order")
+	path := filepath.Join(t.TempDir(), "log")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	disk, err := OpenBoltStore(path)
+	store, err := OpenBoltStore(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { disk.Close() })
-	return disk
+	t.Cleanup(func() { store.Close() })
+	return store
 }
 
 func readGolden(t testing.TB, name string) []byte {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -5,52 +5,57 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Word is what instances tell one another; one of its parts is set.
+// The json tags of this package are the stored and sent names: of raft's log entries (JSON), of messages between
+// instances (CBOR, whose encoder goes by them too) and of operators' calls (JSON). They are those of earlier builds
+// and must not change.
+
+// Message is what instances send each other. One of its fields is set. Messages may be lost, late, doubled or out of
+// order.
 type Message struct {
-	Raft            []byte                 `json:"Raft"`    // to a voter from a voter
-	NoLog           bool                   `json:"Blank"`   // a voter's: nothing was ever kept by it
-	Report          *maintenance.Report    `json:"Report"`  // to who leads, or to any voter
-	Grant           *maintenance.PlanGrant `json:"Told"`    // its answer,
-	Leader          string                 `json:"Leader"`  // or who leads, as far as is known
-	OperatorRequest *OperatorRequest       `json:"Command"` // of an operator, to who leads
-	OperatorReply   *OperatorReply         `json:"Reply"`   // its answer
+	Raft            []byte                 `json:"Raft"`    // between voters: a raftpb.Message
+	NoLog           bool                   `json:"Blank"`   // between voters: the sender has no log
+	Report          *maintenance.Report    `json:"Report"`  // to the leader, or to every voter while it is not known
+	Grant           *maintenance.PlanGrant `json:"Told"`    // the leader's answer to a Report
+	Leader          string                 `json:"Leader"`  // another voter's answer: who leads
+	OperatorRequest *OperatorRequest       `json:"Command"` // to the leader, or to every voter while it is not known
+	OperatorReply   *OperatorReply         `json:"Reply"`   // the leader's answer to an OperatorRequest
+}
+
+// Outgoing is a message to be sent.
+type Outgoing struct {
+	To      string // an instance's name
+	Message Message
 }
 
-// Command is what an operator says, with a number of its own.
+// OperatorRequest is an operator's request: a command for the log, or a look at the View.
 type OperatorRequest struct {
-	Number  uint64              `json:"Number"`
-	View    bool                `json:"Look"` // at how all stands, in place of an order
-	Command maintenance.Command `json:"Order"`
+	Number  uint64              `json:"Number"` // chosen by the instance that sends it, to match the reply
+	View    bool                `json:"Look"`
+	Command maintenance.Command `json:"Order"` // where View is false
 }
 
-// Reply answers a Command.
+// OperatorReply answers the OperatorRequest of the same number.
 type OperatorReply struct {
 	Number uint64 `json:"Number"`
 	Answer string `json:"Answer"`
-	Error  string `json:"Error"`
+	Error  string `json:"Error"` // why the command changes nothing
 	View   *View  `json:"View"`
 }
 
-// Out is a word that is to be told.
-type Outgoing struct {
-	To      string
-	Message Message
-}
-
-// View is the order as who leads has it, for people.
+// View is the plan as the leader has it, for operators.
 type View struct {
 	Leader    string                 `json:"Leader"`
-	Now       monotime.Micros        `json:"Now"`
+	Now       monotime.Micros        `json:"Now"` // by the state's clock
 	OnHold    bool                   `json:"Held"`
-	Requests  []maintenance.Request  `json:"Jobs"`
-	Machines  []maintenance.Machine  `json:"Items"`
-	Instances []maintenance.Instance `json:"Instances"`
-	Events    []maintenance.Event    `json:"Events"`
-	Silent    []maintenance.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
+	Requests  []maintenance.Request  `json:"Jobs"`      // the oldest first
+	Machines  []maintenance.Machine  `json:"Items"`     // by name
+	Instances []maintenance.Instance `json:"Instances"` // by name
+	Events    []maintenance.Event    `json:"Events"`    // the oldest first
+	Silent    []maintenance.Instance `json:"Silent"`    // without a report for long; nothing can be acknowledged
 }
 
-// entry is what the log has.
+// logEntry is the content of an entry of the raft log.
 type logEntry struct {
-	ProposalID uint64              `json:"ID"` // of the proposal
+	ProposalID uint64              `json:"ID"` // by which the leader knows whom to answer
 	Command    maintenance.Command `json:"Order"`
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -10,125 +10,130 @@
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+const (
+	// maxMissedTicks is how many of raft's ticks are made up for after a pause of the process.
+	maxMissedTicks = 20
+	// reportsPerLease is how often an instance reports while a lease lasts.
+	reportsPerLease = 4
+	// maxUnansweredReports is how many reports may go without an answer before the leader counts as unknown.
+	maxUnansweredReports = 3
+)
 
 // Settings are the same for all instances of a fleet, but for Self.
 type Settings struct {
-	Self         string
-	Voters       []string // names, an odd number of them
+	Self         string   // the instance's name
+	Voters       []string // names, an odd number of them; a voter's place in the list is its raft id, less one
 	Maintenance  maintenance.Settings
-	TickInterval monotime.Micros // of raft's clock: a leader is missed after ten to twenty
+	TickInterval monotime.Micros // of raft's clock: an election starts after ten to twenty ticks without the leader
 }
 
-// Node is one instance. Make one with New.
+// Node is one instance of the fleet. Make one with New. Its methods are for one goroutine at a time; after each of
+// Tick, Receive, Submit and RequestView the caller sends what TakeOutgoing returns.
 type Node struct {
 	settings          Settings
-	store             LogStore
 	follower          *maintenance.Follower
+	leader            string          // as far as is known; "" is not at all
+	reportAt          monotime.Micros // when the next report is due
+	unansweredReports int
 	outgoing          []Outgoing
-	toSelf            []Message                      // to this instance itself
-	fleetStatus       func() maintenance.FleetStatus // as this instance sees them; nil sees nothing
-	inFlight          func(machine string) int
-	leader            string // as far as is known
-	reportAt          monotime.Micros
-	unansweredReports int // reports since one was answered
-
-	// Of a voter.
+	toSelf            []Message // messages from this instance to itself, handled by process
+
+	// The sources of what is reported and proposed.
+	fleetStatus func() maintenance.FleetStatus // nil is that this instance knows nothing
+	inFlight    func(machine string) int
+
+	// Of a voter: the raft log, see raftlog.go and voters.go.
+	store            LogStore
 	raftID           uint64
-	rawNode          *raft.RawNode // nil while it keeps no log
+	rawNode          *raft.RawNode // nil while this instance has no vote
 	raftStorage      *raft.MemoryStorage
-	tickAt           monotime.Micros
-	noLog            bool            // it has no log: the fleet has none yet, or this voter has lost its own
-	votersWithoutLog map[string]bool // voters that have none either
-	bootstrapped     bool            // in this life
-	seenVoters       map[string]bool // voters that have said something of the log since
+	tickAt           monotime.Micros // when raft's next tick is due
 	voterErr         error
-	appliedIndex     uint64
+	noLog            bool            // nothing was ever stored: see LogMissing
+	votersWithoutLog map[string]bool // other voters that have no log either
+	bootstrapped     bool            // this process has started the log
+	seenVoters       map[string]bool // voters that have sent a raft message to this process
 	state            *maintenance.State
+	appliedIndex     uint64
 	snapshotIndex    uint64
-	told             uint64 // version that was logged last
-
-	// Of who leads.
-	coordinator     *maintenance.Coordinator
-	coordinatorTerm uint64          // in which watch began
-	clockBase       monotime.Micros // the state's clock as it began,
-	clockBaseAt     monotime.Micros // and when
-	readSequence    uint64
-	pendingReads    []readRequest // whose read index is under way
-	queuedReads     []readRequest // that wait for the next
-	retryAt         map[string]monotime.Micros
-	proposers       map[uint64]proposer
-	waitReasons     map[string]string
-	fleetStatusAt   monotime.Micros
-	clockEntryAt    monotime.Micros
-
-	replies    map[uint64]OperatorReply // to this instance's own commands
-	lastNumber uint64
+
+	// Of the leader, see leader.go and reads.go.
+	term          *leaderTerm // nil while this instance does not lead
+	proposers     map[uint64]operatorCall
+	waitReasons   map[string]string // what machines wait for, by name
+	readSequence  uint64            // of the last ReadIndex round
+	fleetStatusAt monotime.Micros   // when the fleet's status is looked at next
+	clockEntryAt  monotime.Micros   // when the next clock entry is due
+
+	// Of operators' requests at this instance, see operators.go.
+	replies    map[uint64]OperatorReply
+	lastNumber uint64 // of a request or a proposal
 }
 
-// New returns an instance. disk is nil for one that is no voter. That a disk does not hold what can be gone on from is an error that is returned
-// beside the instance: it obeys and reports, and has no vote.
-func New(now monotime.Micros, s Settings, life uint64, disk LogStore) (*Node, error) {
-	duty, err := maintenance.NewFollower(s.Maintenance, life)
+// New returns an instance, of which incarnation tells its process from any other of its name. store is nil for one
+// that is no voter. Where the store cannot be read, or its log makes no sense, New returns the error beside an
+// instance that has no vote; any other error comes without an instance.
+func New(now monotime.Micros, s Settings, incarnation uint64, store LogStore) (*Node, error) {
+	follower, err := maintenance.NewFollower(s.Maintenance, incarnation)
 	if err != nil {
-		return nil, err
-	}
-	n := &Node{settings: s, store: disk, follower: duty, inFlight: func(string) int { return 0 }, reportAt: now, tickAt: now, votersWithoutLog: map[string]bool{}, seenVoters: map[string]bool{}, retryAt: map[string]monotime.Micros{},
-		proposers: map[uint64]proposer{}, replies: map[uint64]OperatorReply{}, lastNumber: life<<20 | 1}
-	if n.state, err = maintenance.NewState(s.Maintenance); err != nil {
-		return nil, err
-	}
-	if at := slices.Index(s.Voters, s.Self); at >= 0 && disk != nil {
-		n.raftID = uint64(at + 1)
-		kept, blank, err := disk.Load()
-		if err != nil {
-			n.voterErr = err
-			return n, fmt.Errorf("the order's log cannot be gone on from; this instance has no vote: %w", err)
-		}
-		if blank {
-			n.noLog = true
-			return n, nil
-		}
-		return n, n.startRaft(kept)
+		return nil, fmt.Errorf("consensus: %w", err)
+	}
+	state, err := maintenance.NewState(s.Maintenance)
+	if err != nil {
+		return nil, fmt.Errorf("consensus: %w", err)
+	}
+	n := &Node{
+		settings:         s,
+		follower:         follower,
+		reportAt:         now,
+		inFlight:         func(string) int { return 0 },
+		store:            store,
+		tickAt:           now,
+		votersWithoutLog: map[string]bool{},
+		seenVoters:       map[string]bool{},
+		state:            state,
+		proposers:        map[uint64]operatorCall{},
+		replies:          map[uint64]OperatorReply{},
+		lastNumber:       incarnation<<20 | 1,
+	}
+	if i := slices.Index(s.Voters, s.Self); i >= 0 && store != nil {
+		return n, n.startVoter(raftIDOf(i))
 	}
 	return n, nil
 }
 
-// Sees says what tells how machines stand, and what is open at one.
-func (n *Node) SetSources(facts func() maintenance.FleetStatus, open func(machine string) int) {
-	n.fleetStatus, n.inFlight = facts, open
+// SetSources sets what tells how machines stand, and how many requests are in flight at one. It must be called before
+// the first Tick.
+func (n *Node) SetSources(fleetStatus func() maintenance.FleetStatus, inFlight func(machine string) int) {
+	n.fleetStatus = fleetStatus
+	n.inFlight = inFlight
 }
 
-// Duty is what this instance obeys.
+// Follower returns what this instance has to apply of the plan.
 func (n *Node) Follower() *maintenance.Follower { return n.follower }
 
-// State is the order as far as this voter has applied it.
+// State returns the plan as far as this voter has applied the log. It must not be changed.
 func (n *Node) State() *maintenance.State { return n.state }
 
-// Next is when Tick has something to do.
+// NextTick returns when Tick has something to do.
 func (n *Node) NextTick() monotime.Micros { return min(n.reportAt, n.tickAt) }
 
-// Out returns what is to be told since it was called last.
+// TakeOutgoing returns the messages that are to be sent since it was called last.
 func (n *Node) TakeOutgoing() []Outgoing {
-	out := n.outgoing
+	outgoing := n.outgoing
 	n.outgoing = nil
-	return out
+	return outgoing
 }
 
-// Tick does what is due.
+// Tick does what is due at an instant.
 func (n *Node) Tick(now monotime.Micros) {
 	defer n.recoverRaftPanic()
 	for n.tickAt <= now {
 		n.tickAt += n.settings.TickInterval
-		if now-n.tickAt > 20*n.settings.TickInterval {
-			n.tickAt = now + n.settings.TickInterval // it was stopped: what it missed is not made up for
-		}
-		switch {
-		case n.noLog:
-			n.broadcast(Message{NoLog: true})
-		case n.rawNode != nil:
-			n.rawNode.Tick()
+		if now-n.tickAt > maxMissedTicks*n.settings.TickInterval {
+			n.tickAt = now + n.settings.TickInterval
 		}
+		n.tickVoter()
 	}
 	n.process(now)
 	if now >= n.reportAt {
@@ -137,100 +142,98 @@
 	}
 }
 
-// settle carries out what has become due, also what this instance has to tell itself.
+// Receive handles a message from another instance.
+func (n *Node) Receive(now monotime.Micros, from string, m Message) {
+	defer n.recoverRaftPanic()
+	n.handle(now, from, m)
+	n.process(now)
+}
+
+// process does what has become due, and handles the messages of this instance to itself.
 func (n *Node) process(now monotime.Micros) {
 	n.runLeader(now)
 	n.handleReady(now)
 	for len(n.toSelf) > 0 {
-		w := n.toSelf[0]
+		m := n.toSelf[0]
 		n.toSelf = n.toSelf[1:]
-		n.handle(now, n.settings.Self, w)
+		n.handle(now, n.settings.Self, m)
 		n.runLeader(now)
 		n.handleReady(now)
 	}
 }
 
-// say tells all other voters.
-func (n *Node) broadcast(w Message) {
-	for _, name := range n.settings.Voters {
-		if name != n.settings.Self {
-			n.outgoing = append(n.outgoing, Outgoing{name, w})
-		}
+func (n *Node) handle(now monotime.Micros, from string, m Message) {
+	switch {
+	case m.Raft != nil:
+		n.stepRaft(from, m.Raft)
+	case m.NoLog:
+		n.handleNoLog(from)
+	case m.Report != nil:
+		n.handleReport(now, from, *m.Report)
+	case m.Grant != nil:
+		n.follower.Apply(now, *m.Grant)
+		n.leader = from
+		n.unansweredReports = 0
+	case m.Leader != "":
+		n.handleLeader(now, m.Leader)
+	case m.OperatorRequest != nil:
+		n.handleOperatorRequest(now, from, *m.OperatorRequest)
+	case m.OperatorReply != nil:
+		n.replies[m.OperatorReply.Number] = *m.OperatorReply
 	}
 }
 
-// report reports to who leads, or to all voters where that is not known.
+// handleLeader takes in who leads, and reports there at once where that is news.
+func (n *Node) handleLeader(now monotime.Micros, leader string) {
+	if n.leader != leader {
+		n.leader = leader
+		n.reportAt = now
+	}
+}
+
+// sendReport reports to the leader, or to all voters where it is not known.
 func (n *Node) sendReport(now monotime.Micros) {
-	n.reportAt = now + n.settings.Maintenance.LeaseDuration/4
-	if n.unansweredReports++; n.unansweredReports > 3 {
+	n.reportAt = now + n.settings.Maintenance.LeaseDuration/reportsPerLease
+	n.unansweredReports++
+	if n.unansweredReports > maxUnansweredReports {
 		n.leader = ""
 	}
-	if l := n.knownLeader(); l != "" {
-		n.leader = l
+	if leader := n.raftLeader(); leader != "" {
+		n.leader = leader
 	}
-	r := n.follower.NextReport(now, n.inFlight)
+	report := n.follower.NextReport(now, n.inFlight)
 	if n.IsLeader() {
-		n.toSelf = append(n.toSelf, Message{Report: &r})
+		n.toSelf = append(n.toSelf, Message{Report: &report})
 		return
 	}
 	for _, name := range n.settings.Voters {
 		if name != n.settings.Self && (n.leader == "" || n.leader == name) {
-			n.outgoing = append(n.outgoing, Outgoing{name, Message{Report: &r}})
+			n.outgoing = append(n.outgoing, Outgoing{To: name, Message: Message{Report: &report}})
 		}
 	}
 }
 
-// tell sends a word, also to itself.
-func (n *Node) send(now monotime.Micros, to string, w Message) {
+// send sends a message to an instance, which may be this one.
+func (n *Node) send(to string, m Message) {
 	if to == n.settings.Self {
-		n.toSelf = append(n.toSelf, w)
+		n.toSelf = append(n.toSelf, m)
 		return
 	}
-	n.outgoing = append(n.outgoing, Outgoing{to, w})
+	n.outgoing = append(n.outgoing, Outgoing{To: to, Message: m})
 }
 
-// Hear takes another's word in.
-func (n *Node) Receive(now monotime.Micros, from string, w Message) {
-	defer n.recoverRaftPanic()
-	n.handle(now, from, w)
-	n.process(now)
+// broadcast sends a message to all other voters.
+func (n *Node) broadcast(m Message) {
+	for _, name := range n.settings.Voters {
+		if name != n.settings.Self {
+			n.outgoing = append(n.outgoing, Outgoing{To: name, Message: m})
+		}
+	}
 }
 
-func (n *Node) handle(now monotime.Micros, from string, w Message) {
-	switch {
-	case w.Raft != nil:
-		n.stepRaft(from, w.Raft)
-	case w.NoLog:
-		switch {
-		case n.noLog:
-			n.votersWithoutLog[from] = true
-			if len(n.votersWithoutLog) == len(n.settings.Voters)-1 {
-				n.bootstrap()
-			}
-		case n.bootstrapped && !n.seenVoters[from]:
-			// It has not heard that this one was blank, too. Of one that has taken part since, some voter knows.
-			n.send(now, from, Message{NoLog: true})
-		}
-	case w.Report != nil:
-		if !n.IsLeader() {
-			if l := n.knownLeader(); l != "" && l != n.settings.Self {
-				n.send(now, from, Message{Leader: l})
-			}
-			return
-		}
-		if n.coordinator != nil && n.coordinator.RecordReport(now, from, *w.Report) {
-			n.queuedReads = append(n.queuedReads, readRequest{from: from, report: *w.Report})
-		}
-	case w.Grant != nil:
-		n.follower.Apply(now, *w.Grant)
-		n.leader, n.unansweredReports = from, 0
-	case w.Leader != "":
-		if n.leader != w.Leader {
-			n.leader, n.reportAt = w.Leader, now
-		}
-	case w.OperatorRequest != nil:
-		n.handleOperatorRequest(now, from, *w.OperatorRequest)
-	case w.OperatorReply != nil:
-		n.replies[w.OperatorReply.Number] = *w.OperatorReply
+// sendLeader sends an instance the name of the voter that leads, where this one knows of another.
+func (n *Node) sendLeader(to string) {
+	if leader := n.raftLeader(); leader != "" && leader != n.settings.Self {
+		n.send(to, Message{Leader: leader})
 	}
 }
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -1,109 +1,113 @@
 package consensus
 
 import (
+	"errors"
 	"testing"
 )
 
-// All machines are taken out and come back, one wave after another, within the bounds.
-func TestAll(t *testing.T) {
-	w := newWorld(t, 3, 3, 1)
-	if r := w.ask("night", w.names()...); r.Error != "" {
-		t.Fatal(r.Error)
+// All machines are taken out and come back, some at a time, within the bounds.
+func TestAllMachinesAreTakenOutAndReturn(t *testing.T) {
+	c := newCluster(t, 3, 3, 1)
+	if reply := c.request("night", c.machineNames()...); reply.Error != "" {
+		t.Fatal(reply.Error)
 	}
-	if r := w.ask("night", w.names()...); r.Error != "" || len(w.best.node.State().Requests) != 1 {
-		t.Errorf("asking twice: %+v", r)
+	reply := c.request("night", c.machineNames()...)
+	if requests := c.furthest.node.State().Requests; reply.Error != "" || len(requests) != 1 {
+		t.Errorf("a request that comes twice: %+v, %d requests", reply, len(requests))
 	}
-	if r := w.ask("more", "m99"); r.Error == "" {
-		t.Error("a machine that nobody has is taken")
+	if reply := c.request("more", "m99"); reply.Error == "" {
+		t.Error("a machine that does not exist is accepted")
 	}
-	if left := w.finish(60e6); left != 0 || w.sends == 0 {
-		t.Fatalf("%d are left: %+v", left, w.best.node.State().Machines)
+	if left := c.finish(60e6); left != 0 || c.sent == 0 {
+		t.Fatalf("%d are left: %+v", left, c.furthest.node.State().Machines)
 	}
 }
 
-// Whatever is killed, stopped or cut off: nothing is open at a machine that is at work, no bound is broken, and once faults stop the order finishes.
-func TestFaults(t *testing.T) {
+// Whatever is killed, paused or cut off: nothing is in flight at a machine under maintenance, no bound is broken, and
+// once faults stop the plan finishes.
+func TestSafetyHoldsUnderFaults(t *testing.T) {
 	for seed := range uint64(12) {
-		w := newWorld(t, 3, 3, seed)
-		w.ask("night", w.names()...)
-		w.faults(12)
-		clear(w.cut)
-		w.loss = 0
-		w.run(12e6)
-		if left := w.finish(120e6); left != 0 {
-			t.Fatalf("seed %d: %d are left: %+v, %v", seed, left, w.best.node.State().Machines, w.best.node.waitReasons)
+		c := newCluster(t, 3, 3, seed)
+		c.request("night", c.machineNames()...)
+		c.injectFaults(12)
+		c.heal()
+		c.run(12e6)
+		if left := c.finish(120e6); left != 0 {
+			node := c.furthest.node
+			t.Fatalf("seed %d: %d are left: %+v, %v", seed, left, node.State().Machines, node.waitReasons)
 		}
 	}
 }
 
-// A voter that has lost its disk, or cannot write to it, has no vote, obeys and reports on; what was settled is there, and goes on while a majority
-// has it. All killed with their disks go on.
-func TestDisks(t *testing.T) {
-	w := newWorld(t, 3, 1, 3)
-	w.ask("night", "m0")
-	lost := w.all[0]
-	w.kill(lost)
-	*lost.disk = memory{}
-	w.run(3e6)
-	w.start(lost)
-	w.run(4e6)
+// A voter that has lost its log, or cannot read it, has no vote, and applies and reports on; what was committed is
+// there, and goes on while a majority has it. All killed with their logs go on.
+func TestVotersWithoutTheirLogs(t *testing.T) {
+	c := newCluster(t, 3, 1, 3)
+	c.request("night", "m0")
+	lost := c.instances[0]
+	c.kill(lost)
+	*lost.store = memoryStore{}
+	c.run(3e6)
+	c.start(lost)
+	c.run(4e6)
 	if !lost.node.LogMissing() || !lost.node.Follower().HasPlan() {
-		t.Errorf("one that has lost its log: blank %v, obeys %v", lost.node.LogMissing(), lost.node.Follower().HasPlan())
+		t.Errorf("a voter that has lost its log: missing %v, has a plan %v",
+			lost.node.LogMissing(), lost.node.Follower().HasPlan())
 	}
-	if w.best.node.State().Requests["night"] == nil {
-		t.Fatal("what was settled is lost")
+	if c.furthest.node.State().Requests["night"] == nil {
+		t.Fatal("what was committed is lost")
 	}
-	if w.finish(60e6) != 0 {
-		t.Errorf("two of three voters do not finish: %+v", w.best.node.State().Machines)
+	if c.finish(60e6) != 0 {
+		t.Errorf("two of three voters do not finish: %+v", c.furthest.node.State().Machines)
 	}
-	w.ask("other", "m1")
-	for _, p := range w.all {
-		w.kill(p)
-		if p == w.all[1] {
-			p.disk.broken = true
+	c.request("other", "m1")
+	for _, p := range c.instances {
+		c.kill(p)
+		if p == c.instances[1] {
+			p.store.broken = true
 		}
 	}
-	w.best = nil
-	for _, p := range w.all {
-		w.start(p)
+	c.furthest = nil
+	for _, p := range c.instances {
+		c.start(p)
 	}
-	w.run(8e6)
-	if w.all[1].node.VoterError() == nil || !w.all[1].up {
-		t.Error("a voter whose disk cannot be read is not told")
+	c.run(8e6)
+	if c.instances[1].node.VoterError() == nil || !c.instances[1].running {
+		t.Error("a voter whose store cannot be read has no error")
 	}
-	if x := w.all[2].node.State(); x.Requests["other"] == nil {
-		t.Error("what was settled is lost with all processes")
+	if state := c.instances[2].node.State(); state.Requests["other"] == nil {
+		t.Error("what was committed is lost with all processes")
 	}
-	// One whose log was put back from an older copy is told, and its process goes on.
-	back := w.all[2]
-	w.kill(back)
-	back.disk.entries = back.disk.entries[:len(back.disk.entries)/2]
-	w.start(back)
-	w.run(2e6)
-	if back.node.VoterError() == nil || !back.up {
-		t.Error("an old log is gone on from")
+	// A voter whose log was restored from an older copy has an error, and its process goes on.
+	restored := c.instances[2]
+	c.kill(restored)
+	restored.store.entries = restored.store.entries[:len(restored.store.entries)/2]
+	c.start(restored)
+	c.run(2e6)
+	if err := restored.node.VoterError(); !errors.Is(err, ErrLogInconsistent) || !restored.running {
+		t.Errorf("a voter goes on from an old log: %v", err)
 	}
 }
 
-// Each planted error is found.
-func TestPlants(t *testing.T) {
-	for _, plant := range []string{"does not obey", "sends before it hears", "leases outlive their time", "only what is out"} {
+// The cluster's checks find each planted fault.
+func TestChecksFindPlantedFaults(t *testing.T) {
+	faults := []fault{faultIgnoresPlan, faultSendsUnplanned, faultSlowClock, faultIgnoresAnnounce}
+	for _, planted := range faults {
 		found := ""
 		for seed := uint64(0); seed < 40 && found == ""; seed++ {
-			w := newWorld(t, 3, 3, seed)
-			w.plant = plant
-			w.ask("night", w.names()...)
-			w.faults(10)
-			if w.bad == "" {
-				clear(w.cut)
-				w.loss = 0
-				w.run(6e6)
-				w.finish(20e6)
+			c := newCluster(t, 3, 3, seed)
+			c.fault = planted
+			c.request("night", c.machineNames()...)
+			c.injectFaults(10)
+			if c.violation == "" {
+				c.heal()
+				c.run(6e6)
+				c.finish(20e6)
 			}
-			found = w.bad
+			found = c.violation
 		}
 		if found == "" {
-			t.Errorf("%s: not found", plant)
+			t.Errorf("%s: not found", planted)
 		}
 	}
 }
--- a/internal/consensus/operators.go
+++ b/internal/consensus/operators.go
@@ -1,89 +1,106 @@
 package consensus
 
 import (
+	"cmp"
 	"slices"
 
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/monotime"
 )
 
-type proposer struct {
-	from   string
-	number uint64
-}
+// This file carries operators' requests from any instance to the leader, and its replies back.
 
-// silentAfter is after how many leases without a word an instance is told of to operators.
+// silentLeases is for how many leases an instance may go without a report before operators see it as silent.
 const silentLeases = 4
 
-// command takes an operator's word in, at who leads; another voter says who does.
-func (n *Node) handleOperatorRequest(now monotime.Micros, from string, c OperatorRequest) {
-	switch {
-	case !n.IsLeader() || n.coordinator == nil:
-		if l := n.knownLeader(); l != "" && l != n.settings.Self {
-			n.send(now, from, Message{Leader: l})
-		}
-	case c.View:
-		v := n.view(now)
-		n.send(now, from, Message{OperatorReply: &OperatorReply{Number: c.Number, View: v}})
-	default:
-		n.propose(c.Command, now, &proposer{from, c.Number})
-	}
+// operatorCall is an operator's request that is to be answered.
+type operatorCall struct {
+	from   string // the instance where the operator called
+	number uint64 // of the request
 }
 
-func (n *Node) view(now monotime.Micros) *View {
-	x := n.state
-	v := &View{Leader: n.settings.Self, Now: n.stateClock(now), OnHold: x.OnHold, Events: slices.Clone(x.Events), Silent: n.coordinator.SilentInstances(now, x, silentLeases*n.settings.Maintenance.LeaseDuration)}
-	for _, j := range x.Requests {
-		v.Requests = append(v.Requests, *j)
-	}
-	for _, i := range x.Machines {
-		i := *i
-		if w := n.waitReasons[i.Name]; w != "" {
-			i.WaitReason = w
-		}
-		v.Machines = append(v.Machines, i)
-	}
-	for name, life := range x.Instances {
-		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Incarnation: life})
-	}
-	slices.SortFunc(v.Requests, func(a, b maintenance.Request) int { return int(a.RequestedAt - b.RequestedAt) })
-	slices.SortFunc(v.Machines, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
-	slices.SortFunc(v.Instances, func(a, b maintenance.Instance) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
-	return v
+// Submit sends an operator's command to the leader and returns the number by which TakeReply has the reply. There may
+// be none, since nobody leads just then, or a message is lost: the caller then submits it again, which does no harm,
+// since a request's id is an idempotency key.
+func (n *Node) Submit(now monotime.Micros, command maintenance.Command) (number uint64) {
+	return n.sendOperatorRequest(now, OperatorRequest{Command: command})
 }
 
-// Say says something for an operator, and returns the number by which Answer has the answer. Nobody may lead just then: whoever asks says it
-// again, and a job that is asked for twice is asked for once.
-func (n *Node) Submit(now monotime.Micros, order maintenance.Command) (number uint64) {
-	return n.submit(now, OperatorRequest{Command: order})
+// RequestView asks the leader for its View. TakeReply has the reply, as that of Submit.
+func (n *Node) RequestView(now monotime.Micros) (number uint64) {
+	return n.sendOperatorRequest(now, OperatorRequest{View: true})
 }
 
-// Look asks how all stands; the answer is got as that of Say.
-func (n *Node) RequestView(now monotime.Micros) (number uint64) {
-	return n.submit(now, OperatorRequest{View: true})
+// TakeReply returns the reply to a request, once; ok is false where none has come.
+func (n *Node) TakeReply(number uint64) (reply OperatorReply, ok bool) {
+	reply, ok = n.replies[number]
+	delete(n.replies, number)
+	return reply, ok
 }
 
-func (n *Node) submit(now monotime.Micros, c OperatorRequest) (number uint64) {
+// sendOperatorRequest sends a request to the leader, or to all voters where it is not known. number is a named
+// result, so that it is returned also where raft panics.
+func (n *Node) sendOperatorRequest(now monotime.Micros, request OperatorRequest) (number uint64) {
 	defer n.recoverRaftPanic()
 	n.lastNumber++
-	c.Number = n.lastNumber
 	number = n.lastNumber
-	w := Message{OperatorRequest: &c}
+	request.Number = number
+	m := Message{OperatorRequest: &request}
 	switch {
 	case n.IsLeader():
-		n.toSelf = append(n.toSelf, w)
+		n.toSelf = append(n.toSelf, m)
 		n.process(now)
 	case n.leader != "":
-		n.outgoing = append(n.outgoing, Outgoing{n.leader, w})
+		n.outgoing = append(n.outgoing, Outgoing{To: n.leader, Message: m})
 	default:
-		n.broadcast(w)
+		n.broadcast(m)
 	}
 	return number
 }
 
-// Answer returns the answer to what was said by a number, once.
-func (n *Node) TakeReply(number uint64) (r OperatorReply, ok bool) {
-	r, ok = n.replies[number]
-	delete(n.replies, number)
-	return r, ok
+// handleOperatorRequest takes in an operator's request. A voter that does not lead answers with the name of the one
+// that does.
+func (n *Node) handleOperatorRequest(now monotime.Micros, from string, request OperatorRequest) {
+	if !n.IsLeader() || n.term == nil {
+		n.sendLeader(from)
+		return
+	}
+	if request.View {
+		reply := OperatorReply{Number: request.Number, View: n.view(now)}
+		n.send(from, Message{OperatorReply: &reply})
+		return
+	}
+	if proposalID, ok := n.propose(now, request.Command); ok {
+		n.proposers[proposalID] = operatorCall{from: from, number: request.Number}
+	}
+}
+
+// view returns the plan as this instance, the leader, has it.
+func (n *Node) view(now monotime.Micros) *View {
+	x := n.state
+	silentAfter := silentLeases * n.settings.Maintenance.LeaseDuration
+	v := &View{
+		Leader: n.settings.Self,
+		Now:    n.stateClock(now),
+		OnHold: x.OnHold,
+		Events: slices.Clone(x.Events),
+		Silent: n.term.coordinator.SilentInstances(now, x, silentAfter),
+	}
+	for _, request := range x.Requests {
+		v.Requests = append(v.Requests, *request)
+	}
+	for _, m := range x.Machines {
+		machine := *m
+		if reason := n.waitReasons[machine.Name]; reason != "" {
+			machine.WaitReason = reason
+		}
+		v.Machines = append(v.Machines, machine)
+	}
+	for name, incarnation := range x.Instances {
+		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Incarnation: incarnation})
+	}
+	slices.SortFunc(v.Requests, func(a, b maintenance.Request) int { return cmp.Compare(a.RequestedAt, b.RequestedAt) })
+	slices.SortFunc(v.Machines, func(a, b maintenance.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(v.Instances, func(a, b maintenance.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return v
 }
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -15,163 +15,208 @@
 	"dunlinsail/internal/monotime"
 )
 
+// This file runs raft: it stores and sends what raft has ready, applies committed entries, and takes snapshots.
+
 const (
-	snapshotInterval    = 500 // entries from one snapshot to the next
-	proposalRetry       = second
-	fleetStatusInterval = second / 2
-	clockEntryInterval  = second
+	electionTicks       = 10 // without the leader, at least, before an election
+	heartbeatTicks      = 2
+	maxRaftMessageBytes = 256 << 10
+	maxInflightMessages = 64
+	// snapshotInterval is how many entries are applied from one snapshot to the next.
+	snapshotInterval = 500
+	// retainedEntries stay in the log after a snapshot: a voter that is less far behind needs no snapshot sent.
+	retainedEntries = snapshotInterval / 2
 )
 
-// begin goes on from what was kept.
-func (n *Node) startRaft(k StoredLog) (err error) {
+// startRaft starts raft from a stored log.
+func (n *Node) startRaft(stored StoredLog) (err error) {
 	defer func() {
-		if p := recover(); p != nil { // as guard has it
-			err = n.stopVoting(fmt.Errorf("the order's log makes no sense: %v", p))
+		if p := recover(); p != nil { // see recoverRaftPanic
+			err = n.stopVoting(fmt.Errorf("%w: %v", ErrLogInconsistent, p))
 		}
 	}()
+	if err := n.loadRaftStorage(stored); err != nil {
+		return n.stopVoting(err)
+	}
+	rawNode, err := raft.NewRawNode(&raft.Config{
+		ID:              n.raftID,
+		ElectionTick:    electionTicks,
+		HeartbeatTick:   heartbeatTicks,
+		Storage:         n.raftStorage,
+		Applied:         n.appliedIndex,
+		MaxSizePerMsg:   maxRaftMessageBytes,
+		MaxInflightMsgs: maxInflightMessages,
+		CheckQuorum:     true,
+		PreVote:         true,
+		Logger:          &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
+	})
+	if err != nil {
+		return n.stopVoting(fmt.Errorf("consensus: start raft: %w", err))
+	}
+	n.rawNode = rawNode
+	return nil
+}
+
+// loadRaftStorage fills raft's storage, and the state, from a stored log.
+func (n *Node) loadRaftStorage(stored StoredLog) error {
 	n.raftStorage = raft.NewMemoryStorage()
-	if k.Snapshot != nil && k.Snapshot.GetMetadata().GetIndex() > 0 {
-		if err := n.raftStorage.ApplySnapshot(k.Snapshot); err != nil {
-			return n.stopVoting(err)
+	if stored.Snapshot.GetMetadata().GetIndex() > 0 {
+		if err := n.raftStorage.ApplySnapshot(stored.Snapshot); err != nil {
+			return fmt.Errorf("consensus: load the snapshot: %w", err)
 		}
-		if err := n.restoreSnapshot(k.Snapshot); err != nil {
-			return n.stopVoting(err)
+		if err := n.restoreSnapshot(stored.Snapshot); err != nil {
+			return err
 		}
 	}
-	if k.HardState != nil {
-		if err := n.raftStorage.SetHardState(k.HardState); err != nil {
-			return n.stopVoting(err)
+	if stored.HardState != nil {
+		if err := n.raftStorage.SetHardState(stored.HardState); err != nil {
+			return fmt.Errorf("consensus: load the hard state: %w", err)
 		}
 	}
-	if err := n.raftStorage.Append(k.Entries); err != nil {
-		return n.stopVoting(err)
-	}
-	turns := 10
-	raw, err := raft.NewRawNode(&raft.Config{ID: n.raftID, ElectionTick: turns, HeartbeatTick: 2, Storage: n.raftStorage, Applied: n.appliedIndex, MaxSizePerMsg: 256 << 10,
-		MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
-	if err != nil {
-		return n.stopVoting(err)
+	if err := n.raftStorage.Append(stored.Entries); err != nil {
+		return fmt.Errorf("consensus: load the entries: %w", err)
 	}
-	n.rawNode = raw
 	return nil
 }
 
-// knows returns who leads, as far as this voter knows.
-func (n *Node) knownLeader() string {
+// raftLeader returns who leads, as far as this voter knows; "" is nobody.
+func (n *Node) raftLeader() string {
 	if n.rawNode == nil {
 		return ""
 	}
-	if l := n.rawNode.BasicStatus().Lead; l > 0 && int(l) <= len(n.settings.Voters) {
-		return n.settings.Voters[l-1]
-	}
-	return ""
+	name, _ := n.voterName(n.rawNode.BasicStatus().Lead)
+	return name
 }
 
-// ready carries out what raft asks for: what is new is kept before anybody hears of it.
+// handleReady carries out what raft has ready. What is new is stored before any other instance receives of it.
 func (n *Node) handleReady(now monotime.Micros) {
 	for n.rawNode != nil && n.rawNode.HasReady() {
-		rd := n.rawNode.Ready()
-		if err := n.store.Save(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
+		ready := n.rawNode.Ready()
+		if err := n.persist(ready); err != nil {
 			n.stopVoting(err)
 			return
 		}
-		if rd.Snapshot.GetMetadata().GetIndex() > 0 {
-			n.raftStorage.ApplySnapshot(rd.Snapshot)
-			if err := n.restoreSnapshot(rd.Snapshot); err != nil {
-				n.stopVoting(err)
-				return
-			}
-		}
-		if rd.HardState != nil {
-			n.raftStorage.SetHardState(rd.HardState)
+		n.sendRaftMessages(ready.Messages)
+		for _, entry := range ready.CommittedEntries {
+			n.applyEntry(entry)
 		}
-		n.raftStorage.Append(rd.Entries)
-		for _, m := range rd.Messages {
-			text, err := proto.Marshal(m)
-			if err != nil || m.GetTo() == 0 || int(m.GetTo()) > len(n.settings.Voters) {
-				continue
-			}
-			n.outgoing = append(n.outgoing, Outgoing{n.settings.Voters[m.GetTo()-1], Message{Raft: text}})
-			if m.GetType() == raftpb.MsgSnap {
-				n.rawNode.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost is sent again
+		for _, read := range ready.ReadStates {
+			if sequence, ok := decodeReadContext(read.RequestCtx); ok {
+				n.answerReads(now, sequence, read.Index)
 			}
 		}
-		for _, e := range rd.CommittedEntries {
-			n.applyEntry(now, e)
+		n.rawNode.Advance(ready)
+		n.takeSnapshot()
+	}
+}
+
+// persist stores what raft has ready, and restores the state from the snapshot that another voter has sent.
+func (n *Node) persist(ready raft.Ready) error {
+	if err := n.store.Save(ready.HardState, ready.Entries, ready.Snapshot); err != nil {
+		return err
+	}
+	// Errors of the storage in memory are about what raft has checked itself.
+	if ready.Snapshot.GetMetadata().GetIndex() > 0 {
+		_ = n.raftStorage.ApplySnapshot(ready.Snapshot)
+		if err := n.restoreSnapshot(ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	if ready.HardState != nil {
+		_ = n.raftStorage.SetHardState(ready.HardState)
+	}
+	_ = n.raftStorage.Append(ready.Entries)
+	return nil
+}
+
+func (n *Node) sendRaftMessages(messages []*raftpb.Message) {
+	for _, m := range messages {
+		encoded, err := proto.Marshal(m)
+		to, ok := n.voterName(m.GetTo())
+		if err != nil || !ok {
+			continue
 		}
-		for _, s := range rd.ReadStates {
-			if len(s.RequestCtx) == 8 {
-				n.answerReads(now, binary.BigEndian.Uint64(s.RequestCtx), s.Index)
-			}
+		n.outgoing = append(n.outgoing, Outgoing{To: to, Message: Message{Raft: encoded}})
+		if m.GetType() == raftpb.MsgSnap {
+			n.rawNode.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // if it is lost, raft sends it again
 		}
-		n.rawNode.Advance(rd)
-		n.takeSnapshot()
 	}
 }
 
-func (n *Node) applyEntry(now monotime.Micros, e *raftpb.Entry) {
-	if e.GetIndex() <= n.appliedIndex {
+// applyEntry applies a committed entry to the state. The leader answers the operator whose command it is.
+func (n *Node) applyEntry(committed *raftpb.Entry) {
+	if committed.GetIndex() <= n.appliedIndex {
 		return
 	}
-	n.appliedIndex = e.GetIndex()
-	if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 {
+	n.appliedIndex = committed.GetIndex()
+	if committed.GetType() != raftpb.EntryNormal || len(committed.GetData()) == 0 {
 		return
 	}
-	var x logEntry
-	if json.Unmarshal(e.GetData(), &x) != nil {
-		return // all pass it over alike
+	var entry logEntry
+	if json.Unmarshal(committed.GetData(), &entry) != nil {
+		return // every replica skips it
 	}
-	answer, err := n.state.Apply(x.Command)
-	if o, ok := n.proposers[x.ProposalID]; ok {
-		delete(n.proposers, x.ProposalID)
-		r := OperatorReply{Number: o.number, Answer: answer}
-		if err != nil {
-			r.Error = err.Error()
-		}
-		n.send(now, o.from, Message{OperatorReply: &r})
+	answer, err := n.state.Apply(entry.Command)
+	call, ok := n.proposers[entry.ProposalID]
+	if !ok {
+		return
 	}
+	delete(n.proposers, entry.ProposalID)
+	reply := OperatorReply{Number: call.number, Answer: answer}
+	if err != nil {
+		reply.Error = err.Error()
+	}
+	n.send(call.from, Message{OperatorReply: &reply})
 }
 
-func (n *Node) restoreSnapshot(s *raftpb.Snapshot) error {
-	n.appliedIndex, n.snapshotIndex = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
-	if len(s.GetData()) == 0 {
+// restoreSnapshot sets the state to that of a snapshot.
+func (n *Node) restoreSnapshot(snapshot *raftpb.Snapshot) error {
+	n.appliedIndex = snapshot.GetMetadata().GetIndex()
+	n.snapshotIndex = n.appliedIndex
+	if len(snapshot.GetData()) == 0 {
 		return nil
 	}
-	fresh, err := maintenance.NewState(n.settings.Maintenance)
+	state, err := maintenance.NewState(n.settings.Maintenance)
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(s.GetData(), fresh); err != nil {
-		return fmt.Errorf("the order's snapshot: %w", err)
+	if err := json.Unmarshal(snapshot.GetData(), state); err != nil {
+		return fmt.Errorf("consensus: decode the snapshot at index %d: %w", n.appliedIndex, err)
 	}
-	fresh.UseSettings(n.settings.Maintenance)
-	n.state = fresh
+	state.UseSettings(n.settings.Maintenance)
+	n.state = state
 	return nil
 }
 
-// compact makes a snapshot once the log is long.
+// takeSnapshot stores a snapshot and shortens the log once enough entries have been applied since the last one.
 func (n *Node) takeSnapshot() {
 	if n.appliedIndex-n.snapshotIndex < snapshotInterval {
 		return
 	}
-	text, err := json.Marshal(n.state)
+	data, err := json.Marshal(n.state)
 	if err != nil {
 		return
 	}
-	voters := &raftpb.ConfState{}
-	for i := range n.settings.Voters {
-		voters.Voters = append(voters.Voters, uint64(i+1))
-	}
-	s, err := n.raftStorage.CreateSnapshot(n.appliedIndex, voters, text)
+	snapshot, err := n.raftStorage.CreateSnapshot(n.appliedIndex, n.confState(), data)
 	if err != nil {
 		return
 	}
-	if err := n.store.Save(nil, nil, s); err != nil {
+	if err := n.store.Save(nil, nil, snapshot); err != nil {
 		n.stopVoting(err)
 		return
 	}
 	n.snapshotIndex = n.appliedIndex
-	if n.appliedIndex > snapshotInterval/2 {
-		n.raftStorage.Compact(n.appliedIndex - snapshotInterval/2) // followers that are a little behind need no snapshot
+	if n.appliedIndex > retainedEntries {
+		_ = n.raftStorage.Compact(n.appliedIndex - retainedEntries) // an error is that this was compacted before
+	}
+}
+
+// encodeReadContext and decodeReadContext are the form in which raft carries the number of a ReadIndex round.
+func encodeReadContext(sequence uint64) []byte { return binary.BigEndian.AppendUint64(nil, sequence) }
+
+func decodeReadContext(context []byte) (sequence uint64, ok bool) {
+	if len(context) != 8 {
+		return 0, false
 	}
+	return binary.BigEndian.Uint64(context), true
 }
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -4,17 +4,18 @@
 	"go.etcd.io/raft/v3/raftpb"
 )
 
-// Disk keeps a voter's log. What it has said to be saved must be there after any end of the process.
+// LogStore keeps a voter's log. What Save has returned for must be there after any end of the process.
 type LogStore interface {
-	// Load returns what was kept; blank is that nothing ever was.
-	Load() (k StoredLog, blank bool, err error)
-	// Save keeps what is new, all of it or nothing, and returns once it is kept.
+	// Load returns what is stored; empty is that nothing ever was.
+	Load() (stored StoredLog, empty bool, err error)
+	// Save stores what is new, all of it or nothing, and returns once it is durable. Entries replace stored ones from
+	// the first of them on; a snapshot replaces all entries up to its index. Any of the arguments may be nil.
 	Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error
 }
 
-// Kept is what a Disk has.
+// StoredLog is what a LogStore has.
 type StoredLog struct {
 	HardState *raftpb.HardState
 	Snapshot  *raftpb.Snapshot
-	Entries   []*raftpb.Entry
+	Entries   []*raftpb.Entry // those after the snapshot, without a gap
 }
