--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -70,19 +70,19 @@
 	short := &atomic.Int64{}
 	log := slog.New(&shortage{Handler: slog.NewTextHandler(io.Discard, nil), n: short})
 	where := &siteconfig.Site{Settings: settings(o.Instances), Classes: []string{"look"}, Zones: []string{"a"}, Kinds: []string{""},
-		Fields: []string{"inflight", "queue"}, KeepAlive: 15 * time.Second}
+		LoadReportFields: []string{"inflight", "queue"}, KeepAlive: 15 * time.Second}
 	beside, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
 	defer cancel()
 	fleet := make([]*instance, o.Instances)
 	for i := range fleet {
-		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.Fields, DialTimeout: giveUp / 2})}
+		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.LoadReportFields, DialTimeout: giveUp / 2})}
 		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
-		c := engine.PoolConfig{Known: endpointsource.Listed(o.Nodes, "a", 0), Listed: true, Watch: func(bool) {}}
+		c := engine.PoolConfig{InitialEndpoints: endpointsource.Listed(o.Nodes, "a", 0), StaticList: true, Watch: func(bool) {}}
 		if o.Subset > 0 {
 			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, MinMembers: o.Subset, EndpointProbes: o.NodeProbes, EndpointIdleConnections: o.NodeIdle}
-			c.Rest = func(n float64) { in.up.Rest("", n) }
+			c.OnIdleConnections = func(n float64) { in.up.Rest("", n) }
 		}
 		var err error
 		if in.pool, err = in.core.NewPool(c); err != nil {
@@ -112,7 +112,7 @@
 			switch in.ask(clk, id) {
 			case engine.Served:
 				atomic.AddInt64(&r.Served, 1)
-			case engine.Refused, engine.Limited:
+			case engine.Rejected, engine.RateLimited:
 				atomic.AddInt64(&r.Refused, 1)
 			default:
 				atomic.AddInt64(&r.Failed, 1)
@@ -127,12 +127,12 @@
 // ask asks for one thing and waits for its answer.
 func (in *instance) ask(clk clock.Clock, id string) engine.Verdict {
 	now := clk.Now()
-	c := &core.Call{Client: in.client, Pool: in.pool, ID: id, In: balancer.Request{Deadline: now + clock.Micros(giveUp)}, Arrived: now,
-		Answer: make(chan engine.Answer, 1)}
+	c := &core.Call{Client: in.client, Pool: in.pool, ID: id, Request: balancer.Request{Deadline: now + clock.Micros(giveUp)}, ArrivedAt: now,
+		Response: make(chan engine.Response, 1)}
 	m := &upstream.Message{Method: "GET", URI: "/look/" + id, Host: "fleet", Header: map[string][]string{"X-Trace-Id": {id}}}
-	c.Attempt = func(ctx context.Context, t *core.Try) engine.Reply { return in.up.Send(ctx, t, m) }
+	c.Attempt = func(ctx context.Context, t *core.AttemptContext) engine.AttemptResult { return in.up.Send(ctx, t, m) }
 	in.core.Submit(c)
-	return (<-c.Answer).Verdict
+	return (<-c.Response).Verdict
 }
 
 // shortage is a log that counts the lines which say that no connection could be had.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -20,19 +20,19 @@
 func New() Clock { return Clock{start: time.Now()} }
 
 // Sleepless returns a clock that starts now, and goes on while the host sleeps: what ends by it for others has ended here, too.
-func Sleepless() Clock { return Clock{time.Now(), Boot()} }
+func NewBootClock() Clock { return Clock{time.Now(), BootTime()} }
 
 // Now returns the present instant.
 func (c Clock) Now() monotime.Micros {
 	if c.boot != 0 {
-		return c.start.UnixMicro() + Boot() - c.boot
+		return c.start.UnixMicro() + BootTime() - c.boot
 	}
 	return c.start.UnixMicro() + time.Since(c.start).Microseconds()
 }
 
 // Boot returns the time since the host came up, its sleep included, in microseconds. All processes of the host read the same; 0
 // is that it cannot be had.
-func Boot() monotime.Micros {
+func BootTime() monotime.Micros {
 	const clockBoottime = 7 // clock_gettime(2)
 	var t syscall.Timespec
 	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockBoottime, uintptr(unsafe.Pointer(&t)), 0); errno != 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -331,24 +331,24 @@
 }
 
 // uses are what peers.lends may name.
-var uses = map[string]func(u *engine.Uses){
-	"further":  func(u *engine.Uses) { u.Further = true },
-	"probes":   func(u *engine.Uses) { u.Probes = true },
-	"tenants":  func(u *engine.Uses) { u.Tenants = true },
-	"level":    func(u *engine.Uses) { u.Level = true },
-	"suspects": func(u *engine.Uses) { u.Suspects = true },
+var uses = map[string]func(u *engine.CoordinationScope){
+	"further":  func(u *engine.CoordinationScope) { u.Retries = true },
+	"probes":   func(u *engine.CoordinationScope) { u.Probes = true },
+	"tenants":  func(u *engine.CoordinationScope) { u.TenantLimits = true },
+	"level":    func(u *engine.CoordinationScope) { u.OverloadLevel = true },
+	"suspects": func(u *engine.CoordinationScope) { u.SuspectedEndpoints = true },
 }
 
 // Together returns what is decided together, as the engine takes it, without who carries words; nil is nothing.
-func (c *Config) Together(seed uint64) *engine.Together {
+func (c *Config) Together(seed uint64) *engine.Coordination {
 	p := &c.Peers
 	if !p.On {
 		return nil
 	}
-	t := &engine.Together{Fleet: coordination.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: quota.Settings{
+	t := &engine.Coordination{Fleet: coordination.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: quota.Settings{
 		Most: c.Fleet.Instances, Ready: p.Ready, Length: p.Loan.Micros(), Every: p.Every.Micros(), Drift: p.Drift}}}
 	for _, name := range p.Lends {
-		uses[name](&t.Uses)
+		uses[name](&t.Scope)
 	}
 	return t
 }
@@ -443,9 +443,9 @@
 }
 
 // Sharing returns how requests are shared out between clients, as the engine takes it.
-func (c *Config) Sharing() engine.Sharing {
+func (c *Config) Sharing() engine.ConcurrencySettings {
 	r := &c.Requests
-	s := engine.Sharing{Slots: r.InFlight, Open: r.Open}
+	s := engine.ConcurrencySettings{MaxInFlight: r.InFlight, MaxOpen: r.Open}
 	if r.InFlight == 0 {
 		s.Adaptive = &concurrency.Settings{Min: r.InFlightLeast, Max: r.InFlightMost, Initial: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
 	}
@@ -728,7 +728,7 @@
 	k.That(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
 	k.That(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
 	k.That(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
-	k.That(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.BodyMost, at("bytes_held"), "under %d a whole body does not fit", siteconfig.BodyMost)
+	k.That(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.MaxBodyBytes, at("bytes_held"), "under %d a whole body does not fit", siteconfig.MaxBodyBytes)
 }
 
 // fields are the figures of a load report by their names on the sockets (BENCH).
@@ -795,7 +795,7 @@
 		k.That(t.Share >= 0 && t.Share <= 1, at("share"), "%v: must be in 0..1", t.Share)
 		k.That(t.Limit == 0 || t.Limit >= 1 && t.Limit <= 1e6, at("limit"), "%v: must be 0 for none, or in 1..1000000", t.Limit)
 		s.Tenants = append(s.Tenants, t.Name)
-		s.Limits = append(s.Limits, t.Limit)
+		s.TenantLimits = append(s.TenantLimits, t.Limit)
 		s.Settings.Tenants = append(s.Settings.Tenants, balancer.Tenant{Name: t.Name, Allowance: t.Allowance, Share: t.Share})
 	}
 	if k.Err() == nil {
@@ -807,7 +807,7 @@
 // reports reads what endpoints tell of their load.
 func (k *check) reports(c *Config) {
 	s := &c.Site
-	s.OnAnswers = stricttoml.Word(&k.Check, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
+	s.ReportsOnResponses = stricttoml.Word(&k.Check, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
 	if c.Probes.Report == "none" {
 		k.That(len(c.Probes.Fields) == 0, "probes.fields", "mean nothing while probes.report is \"none\"")
 		return
@@ -815,7 +815,7 @@
 	k.That(len(c.Probes.Fields) > 0, "probes.fields", "are missing")
 	for i, name := range c.Probes.Fields {
 		k.That(!slices.Contains(c.Probes.Fields[:i], name), "probes.fields", "%q is named twice", name)
-		s.Fields = append(s.Fields, name)
+		s.LoadReportFields = append(s.LoadReportFields, name)
 		s.Settings.Fields = append(s.Settings.Fields, stricttoml.Word(&k.Check, "probes.fields", name, fields))
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,94 +33,94 @@
 	engine.Target
 
 	// Probe asks for the endpoint's load, in a time of its own.
-	Probe() engine.Reply
+	Probe() engine.AttemptResult
 	// Silent tells that an attempt that began at an instant was not answered in its time.
-	Silent(since time.Time)
+	AttemptTimedOut(since time.Time)
 }
 
 // Attempt makes one attempt of a request and waits for its end, on a goroutine of its own. When ctx ends, the attempt
 // is withdrawn.
-type Attempt func(ctx context.Context, t *Try) engine.Reply
+type AttemptFunc func(ctx context.Context, t *AttemptContext) engine.AttemptResult
 
 // Try is what an Attempt is told.
-type Try struct {
-	To       Target
+type AttemptContext struct {
+	Target   Target
 	Deadline monotime.Micros
 
 	// MayGo is asked last, right before the first byte; if it says no, nothing goes out and the reply is Moot.
-	MayGo func(now monotime.Micros) bool
+	ClaimSend func(now monotime.Micros) bool
 
 	// Hold is told how to end the sending at once, without waiting, before MayGo is asked; if it says no the attempt has been
 	// withdrawn. LetGo is told once nothing is sent or read any more, and says whether the sending was not ended: only then may
 	// what it was sent on be used again. nil is nobody who withdraws.
-	Hold  func(end func()) bool
-	LetGo func() bool
+	OnAbort     func(end func()) bool
+	ReleaseConn func() bool
 
 	// Began is asked when an answer has begun that is too large to be held (engine.Engine.Began).
-	Began func(r engine.Reply) bool
+	ResponseStarted func(r engine.AttemptResult) bool
 
 	// Heard tells that an answer that is held comes, if slowly (engine.Engine.Heard).
-	Heard func()
+	ResponseProgress func()
 }
 
 // Call is a client's request on its way through the core.
 type Call struct {
-	Client  *engine.Client
-	Pool    *Pool            // whose endpoints it may go to
-	ID      string           // the client's
-	In      balancer.Request // but for the ID, which the engine gives
-	Arrived monotime.Micros  // when the request was whole
-	Attempt Attempt
-	Answer  chan engine.Answer // has room for one; the one final answer comes here
-	Spent   func() bool        // as engine.Call has it
+	Client        *engine.Client
+	Pool          *Pool            // whose endpoints it may go to
+	ID            string           // the client's
+	Request       balancer.Request // but for the ID, which the engine gives
+	ArrivedAt     monotime.Micros  // when the request was whole
+	Attempt       AttemptFunc
+	Response      chan engine.Response // has room for one; the one final answer comes here
+	NotReplayable func() bool          // as engine.Call has it
 
 	call engine.Call
 }
 
 // Config is what a Core needs.
 type Config struct {
-	Clock    clock.Clock
-	Site     *siteconfig.Site
-	Seed     uint64
-	Sharing  engine.Sharing
-	Upstream Upstream
-	Log      *slog.Logger
-	Observe  engine.Observer // nil is nobody
+	Clock       clock.Clock
+	Site        *siteconfig.Site
+	Seed        uint64
+	Concurrency engine.ConcurrencySettings
+	Upstream    Upstream
+	Log         *slog.Logger
+	Observer    engine.Observer // nil is nobody
 
-	Spent func(now monotime.Micros, budget string) // as engine.Config has it
+	OnQuotaSpent func(now monotime.Micros, budget string) // as engine.Config has it
 }
 
 // Core runs an engine. Make one with New, give it pools, and run it. The engine belongs to the goroutine in Run; all
 // else goes through post.
 type Core struct {
-	config  Config
-	engine  *engine.Engine
-	events  chan func(now monotime.Micros)
-	over    chan struct{} // closed once the core takes no more events
-	ready   atomic.Bool   // an endpoint is known to serve
-	isReady chan struct{} // closed from then on
-	waits   atomic.Bool   // an order is waited for: nothing goes anywhere
+	config       Config
+	engine       *engine.Engine
+	events       chan func(now monotime.Micros)
+	stopped      chan struct{} // closed once the core takes no more events
+	ready        atomic.Bool   // an endpoint is known to serve
+	readySignal  chan struct{} // closed from then on
+	awaitingPlan atomic.Bool   // an order is waited for: nothing goes anywhere
 
-	mu     sync.Mutex
-	begins []func(now monotime.Micros) // of new pools; they go before any event that follows them
+	mu            sync.Mutex
+	pendingStarts []func(now monotime.Micros) // of new pools; they go before any event that follows them
 }
 
 // New returns a core without pools.
 func New(c Config) *Core {
-	x := &Core{config: c, events: make(chan func(monotime.Micros), 256), over: make(chan struct{}), isReady: make(chan struct{})}
-	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Sharing: c.Sharing, Host: (*host)(x), Observe: c.Observe, Spent: c.Spent})
+	x := &Core{config: c, events: make(chan func(monotime.Micros), 256), stopped: make(chan struct{}), readySignal: make(chan struct{})}
+	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Concurrency: c.Concurrency, Host: (*host)(x), Observer: c.Observer, OnQuotaSpent: c.OnQuotaSpent})
 	return x
 }
 
 // Ready says whether requests can be served.
-func (x *Core) Ready() bool { return x.ready.Load() && !x.waits.Load() }
+func (x *Core) Ready() bool { return x.ready.Load() && !x.awaitingPlan.Load() }
 
 // Wait waits until the core is ready, or ctx ends.
-func (x *Core) Wait(ctx context.Context) error {
+func (x *Core) WaitReady(ctx context.Context) error {
 	select {
-	case <-x.isReady:
+	case <-x.readySignal:
 		return nil
-	case <-x.over:
+	case <-x.stopped:
 		return context.Canceled
 	case <-ctx.Done():
 		return context.Cause(ctx)
@@ -131,25 +131,25 @@
 func (x *Core) post(event func(now monotime.Micros)) {
 	select {
 	case x.events <- event:
-	case <-x.over:
+	case <-x.stopped:
 	}
 }
 
 // ask posts an event, waits for what it returns, and returns that; the zero value once the core has ended.
-func ask[T any](x *Core, event func(now monotime.Micros) T) (v T) {
+func query[T any](x *Core, event func(now monotime.Micros) T) (v T) {
 	got := make(chan T, 1)
 	x.post(func(now monotime.Micros) { got <- event(now) })
 	select {
 	case v = <-got:
-	case <-x.over:
+	case <-x.stopped:
 	}
 	return v
 }
 
 // begin has a pool begin, before any event that is posted from now on. It never waits: Run may not have begun.
-func (x *Core) begin(event func(now monotime.Micros)) {
+func (x *Core) startPool(event func(now monotime.Micros)) {
 	x.mu.Lock()
-	x.begins = append(x.begins, event)
+	x.pendingStarts = append(x.pendingStarts, event)
 	x.mu.Unlock()
 	select {
 	case x.events <- func(monotime.Micros) {}:
@@ -157,10 +157,10 @@
 	}
 }
 
-func (x *Core) beginnings(now monotime.Micros) {
+func (x *Core) runPendingStarts(now monotime.Micros) {
 	x.mu.Lock()
-	begins := x.begins
-	x.begins = nil
+	begins := x.pendingStarts
+	x.pendingStarts = nil
 	x.mu.Unlock()
 	for _, event := range begins {
 		event(now)
@@ -169,12 +169,12 @@
 
 // Run handles events and what is due until ctx ends. Nothing in it waits for anything else.
 func (x *Core) Run(ctx context.Context) {
-	defer close(x.over)
+	defer close(x.stopped)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		now := x.config.Clock.Now()
-		x.beginnings(now)
+		x.runPendingStarts(now)
 		x.engine.Advance(now)
 		if at, ok := x.engine.Next(); ok {
 			timer.Reset(clock.Duration(at - now))
@@ -182,7 +182,7 @@
 		select {
 		case event := <-x.events:
 			now = x.config.Clock.Now()
-			x.beginnings(now)
+			x.runPendingStarts(now)
 			event(now)
 		case <-timer.C:
 		case <-ctx.Done():
@@ -195,22 +195,22 @@
 
 // Submit takes a client's request; the one final answer comes on c.Answer.
 func (x *Core) Submit(c *Call) {
-	c.call = engine.Call{Client: c.Client, Pool: c.Pool.pool, ID: c.ID, In: c.In, Arrived: c.Arrived, Host: c, Spent: c.Spent}
+	c.call = engine.Call{Client: c.Client, Pool: c.Pool.pool, ID: c.ID, Request: c.Request, ArrivedAt: c.ArrivedAt, HostData: c, NotReplayable: c.NotReplayable}
 	x.post(func(now monotime.Micros) { x.engine.Submit(now, &c.call) })
 }
 
 // Leave tells that the client of a request has gone, and that nobody will take its answer if it has come meanwhile.
-func (x *Core) Leave(c *Call) {
-	x.post(func(now monotime.Micros) { x.engine.Leave(now, &c.call) })
+func (x *Core) ClientGone(c *Call) {
+	x.post(func(now monotime.Micros) { x.engine.ClientGone(now, &c.call) })
 }
 
 // ChangeClient gives a client another spec, or returns the error of one that makes no sense; what it has open stays
 // open.
-func (x *Core) ChangeClient(c *engine.Client, s fairqueue.ClientSpec) error {
+func (x *Core) SetClientSpec(c *engine.Client, s fairqueue.ClientSpec) error {
 	if err := s.Validate(); err != nil {
 		return err
 	}
-	x.post(func(monotime.Micros) { c.Change(s) }) // its only error is that of Validate
+	x.post(func(monotime.Micros) { c.SetSpec(s) }) // its only error is that of Validate
 	return nil
 }
 
@@ -228,20 +228,20 @@
 	if err != nil {
 		return nil, err
 	}
-	x.begin(p.Begin)
+	x.startPool(p.Start)
 	return &Pool{x, p}, nil
 }
 
 // Moved tells that the list comes from another source from now on.
-func (p *Pool) Moved(source string) {
-	p.core.post(func(monotime.Micros) { p.pool.Moved(source) })
+func (p *Pool) SetSource(source string) {
+	p.core.post(func(monotime.Micros) { p.pool.SetSource(source) })
 }
 
 // Members tells news of the list, unless ctx has ended by the time it is heard.
-func (p *Pool) Members(ctx context.Context, told engine.Told) {
+func (p *Pool) UpdateEndpoints(ctx context.Context, told engine.EndpointUpdate) {
 	p.core.post(func(now monotime.Micros) {
 		if ctx.Err() == nil {
-			p.pool.Members(now, told)
+			p.pool.UpdateEndpoints(now, told)
 		}
 	})
 }
@@ -252,7 +252,7 @@
 // Counts returns how many of the pool's requests wait and are in flight, how many may be (0 is no bound), and how many
 // calls of all pools are not forgotten yet.
 func (p *Pool) Counts() (waiting, inFlight, slots, calls int) {
-	n := ask(p.core, func(monotime.Micros) [4]int {
+	n := query(p.core, func(monotime.Micros) [4]int {
 		waiting, inFlight, slots := p.pool.Counts()
 		return [4]int{waiting, inFlight, slots, p.core.engine.Calls()}
 	})
@@ -263,46 +263,46 @@
 
 // ByHand takes an endpoint out by hand, or lets it in again (engine.Engine.ByHand). It returns once that holds, or with
 // the error of a core that has not come to it when ctx ends.
-func (x *Core) ByHand(ctx context.Context, name string, out bool, at monotime.Micros) (w cordon.Word, known bool, err error) {
+func (x *Core) SetCordon(ctx context.Context, name string, out bool, at monotime.Micros) (w cordon.Word, known bool, err error) {
 	type said struct {
 		w     cordon.Word
 		known bool
 	}
-	s, err := within(ctx, x, func(now monotime.Micros) (s said) {
-		s.w, s.known = x.engine.ByHand(now, name, out, at)
+	s, err := queryContext(ctx, x, func(now monotime.Micros) (s said) {
+		s.w, s.known = x.engine.SetCordon(now, name, out, at)
 		return s
 	})
 	return s.w, s.known, err
 }
 
 // Hear takes words in that were said elsewhere.
-func (x *Core) Hear(words ...cordon.Word) {
+func (x *Core) ReceiveCordons(words ...cordon.Word) {
 	x.post(func(now monotime.Micros) {
 		for _, w := range words {
-			x.engine.Hear(now, w)
+			x.engine.ReceiveCordon(now, w)
 		}
 	})
 }
 
 // Words returns the words on endpoints by hand.
-func (x *Core) Words(ctx context.Context) ([]cordon.Word, error) {
-	return within(ctx, x, func(monotime.Micros) []cordon.Word { return x.engine.Words() })
+func (x *Core) Cordons(ctx context.Context) ([]cordon.Word, error) {
+	return queryContext(ctx, x, func(monotime.Micros) []cordon.Word { return x.engine.Cordons() })
 }
 
 // Figures returns what the core shows of itself, and calls beside in the same instant.
-func (x *Core) Figures(ctx context.Context, beside func()) (engine.Figures, error) {
-	return within(ctx, x, func(now monotime.Micros) engine.Figures {
+func (x *Core) Statistics(ctx context.Context, beside func()) (engine.Statistics, error) {
+	return queryContext(ctx, x, func(now monotime.Micros) engine.Statistics {
 		beside()
-		return x.engine.Figures(now)
+		return x.engine.Statistics(now)
 	})
 }
 
 // within posts an event and returns what it returns, unless ctx ends before it is there.
-func within[T any](ctx context.Context, x *Core, event func(now monotime.Micros) T) (v T, err error) {
+func queryContext[T any](ctx context.Context, x *Core, event func(now monotime.Micros) T) (v T, err error) {
 	got := make(chan T, 1)
 	select {
 	case x.events <- func(now monotime.Micros) { got <- event(now) }:
-	case <-x.over:
+	case <-x.stopped:
 		return v, context.Canceled
 	case <-ctx.Done():
 		return v, context.Cause(ctx)
@@ -310,7 +310,7 @@
 	select {
 	case v = <-got:
 		return v, nil
-	case <-x.over:
+	case <-x.stopped:
 		return v, context.Canceled
 	case <-ctx.Done():
 		return v, context.Cause(ctx)
@@ -321,23 +321,23 @@
 
 // Join has the core decide with the other instances of its fleet, or returns the error of settings that make no sense. It goes
 // before the first pool; what is carried out by t is called by the core's goroutine.
-func (x *Core) Join(t engine.Together) error { return x.engine.Join(t) }
+func (x *Core) JoinFleet(t engine.Coordination) error { return x.engine.JoinFleet(t) }
 
 // BeginFleet begins that, for a process that took over from none.
-func (x *Core) BeginFleet() { x.post(x.engine.BeginFleet) }
+func (x *Core) StartCoordination() { x.post(x.engine.StartCoordination) }
 
 // Word takes a word of another instance in.
-func (x *Core) Word(from string, w coordination.Word) {
-	x.post(func(now monotime.Micros) { x.engine.Word(now, from, w) })
+func (x *Core) ReceiveFleetMessage(from string, w coordination.Word) {
+	x.post(func(now monotime.Micros) { x.engine.ReceiveFleetMessage(now, from, w) })
 }
 
 // GiveFleet ends the core's part in its fleet: it spends nothing any more, and the others need not wait until its time is up. It
 // returns what who takes the core's place has to know; nil where there is no fleet. BeginFleet goes on where nobody does.
-func (x *Core) GiveFleet() *quota.State { return ask(x, x.engine.GiveFleet) }
+func (x *Core) HandOverCoordination() *quota.State { return query(x, x.engine.HandOverCoordination) }
 
 // FleetView returns what is known of the fleet; no where there is none.
 func (x *Core) FleetView(ctx context.Context) (v coordination.View, yes bool, err error) {
-	v, err = within(ctx, x, func(now monotime.Micros) (v coordination.View) {
+	v, err = queryContext(ctx, x, func(now monotime.Micros) (v coordination.View) {
 		v, yes = x.engine.FleetView(now)
 		return v
 	})
@@ -345,19 +345,19 @@
 }
 
 // Order has the core obey an order in which machines go out (engine.Engine.Order), and returns once that holds.
-func (x *Core) Order(o engine.Orders) {
-	x.waits.Store(o.Wait)
-	ask(x, func(now monotime.Micros) bool {
-		x.engine.Order(now, o)
+func (x *Core) ApplyMaintenancePlan(o engine.MaintenancePlan) {
+	x.awaitingPlan.Store(o.AwaitingPlan)
+	query(x, func(now monotime.Micros) bool {
+		x.engine.ApplyMaintenancePlan(now, o)
 		return true
 	})
 }
 
 // Stand returns how machines stand, and how many attempts are open at each of some.
-func (x *Core) Stand(names []string) (f maintenance.FleetStatus, open map[string]int) {
-	f = ask(x, func(now monotime.Micros) maintenance.FleetStatus {
-		open = x.engine.Open(names)
-		return x.engine.Facts(now)
+func (x *Core) MaintenanceStatus(names []string) (f maintenance.FleetStatus, open map[string]int) {
+	f = query(x, func(now monotime.Micros) maintenance.FleetStatus {
+		open = x.engine.OpenAttempts(names)
+		return x.engine.MaintenanceFacts(now)
 	})
 	return f, open
 }
@@ -365,25 +365,25 @@
 // ---- What was learned ------------------------------------------------------
 
 // Snapshot returns what the core holds; nil once it has ended.
-func (x *Core) Snapshot() *engine.Snapshot { return ask(x, x.engine.Snapshot) }
+func (x *Core) Snapshot() *engine.Snapshot { return query(x, x.engine.Snapshot) }
 
 // HandOver returns what the core holds, and from that instant on leaves what cold endpoints may still get to who
 // takes it over. TakeBack ends that.
-func (x *Core) HandOver() *engine.Snapshot {
-	return ask(x, func(now monotime.Micros) *engine.Snapshot {
+func (x *Core) SnapshotForHandover() *engine.Snapshot {
+	return query(x, func(now monotime.Micros) *engine.Snapshot {
 		s := x.engine.Snapshot(now)
-		x.engine.HandOver(now, true)
+		x.engine.TransferWarmupBudget(now, true)
 		return s
 	})
 }
 
 // TakeBack goes on as before HandOver. What cold endpoints were to get counts as spent.
-func (x *Core) TakeBack() {
-	x.post(func(now monotime.Micros) { x.engine.HandOver(now, false) })
+func (x *Core) CancelHandover() {
+	x.post(func(now monotime.Micros) { x.engine.TransferWarmupBudget(now, false) })
 }
 
 // Restore takes over what another core held so long ago (engine.Engine.Restore). It returns once that is done, with
 // what was passed over.
 func (x *Core) Restore(s *engine.Snapshot, age monotime.Micros) (passedOver []string) {
-	return ask(x, func(now monotime.Micros) []string { return x.engine.Restore(now, age, s) })
+	return query(x, func(now monotime.Micros) []string { return x.engine.Restore(now, age, s) })
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -20,9 +20,9 @@
 
 type target struct{}
 
-func (target) Probe() engine.Reply { return engine.Reply{Status: balancer.Moot} }
-func (target) Silent(time.Time)    {}
-func (target) Drop()               {}
+func (target) Probe() engine.AttemptResult { return engine.AttemptResult{Status: balancer.Moot} }
+func (target) AttemptTimedOut(time.Time)   {}
+func (target) Drop()                       {}
 
 func (u upstreams) Target(addr string) Target {
 	u.made <- addr
@@ -38,21 +38,21 @@
 }
 
 // running runs a core until the test ends.
-func running(t *testing.T, known ...engine.Member) (*Pool, upstreams) {
+func running(t *testing.T, known ...engine.EndpointInfo) (*Pool, upstreams) {
 	t.Helper()
 	u := upstreams{made: make(chan string, 16)}
 	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: scriptedpeer.Quiet})
 	p := pool(t, x, "", known...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.Run(ctx)
-	t.Cleanup(func() { cancel(); <-x.over })
+	t.Cleanup(func() { cancel(); <-x.stopped })
 	return p, u
 }
 
 // pool adds a pool to a core.
-func pool(t *testing.T, x *Core, name string, known ...engine.Member) *Pool {
+func pool(t *testing.T, x *Core, name string, known ...engine.EndpointInfo) *Pool {
 	t.Helper()
-	p, err := x.NewPool(engine.PoolConfig{Name: name, Known: engine.Told{Generation: 7, Members: known}, Watch: func(bool) {}})
+	p, err := x.NewPool(engine.PoolConfig{Name: name, InitialEndpoints: engine.EndpointUpdate{Generation: 7, Endpoints: known}, Watch: func(bool) {}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,8 +75,8 @@
 	if x.Ready() {
 		t.Error("ready without an endpoint")
 	}
-	p.Members(context.Background(), engine.Told{Kind: balancer.ListDelta, Generation: 8,
-		Members: []engine.Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: 8,
+		Endpoints: []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
 	x.sync(t)
 	if !x.Ready() {
 		t.Error("not ready with an endpoint")
@@ -85,20 +85,20 @@
 
 // A list older than the one held changes nothing, unless another discovery tells it.
 func TestStaleList(t *testing.T) {
-	p, u := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
+	p, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
 	x := p.core
-	up := []engine.Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
-	p.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 6, Members: up})
+	up := []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 6, Endpoints: up})
 	x.sync(t)
 	if x.Ready() {
 		t.Error("an old list brought a draining endpoint back")
 	}
-	p.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 3, Anew: true, Back: true, Members: up})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 3, NewSource: true, GenerationsReset: true, Endpoints: up})
 	x.sync(t)
 	if x.Ready() {
 		t.Error("a list that began anew brought back an endpoint that is known to drain")
 	}
-	p.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 1, Anew: true, Members: up})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 1, NewSource: true, Endpoints: up})
 	x.sync(t)
 	if !x.Ready() || len(u.made) != 1 {
 		t.Error("another discovery's list was passed over")
@@ -111,7 +111,7 @@
 	x := p.core
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	p.Members(ctx, engine.Told{Kind: balancer.ListFull, Generation: 8, Members: []engine.Member{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
+	p.UpdateEndpoints(ctx, engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 8, Endpoints: []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
 	x.sync(t)
 	if x.Ready() || len(u.made) != 0 {
 		t.Error("a list of an ended watch was heard")
@@ -120,7 +120,7 @@
 
 // A request has one answer, whatever comes of its attempts, and after the core's end nobody waits for it.
 func TestOneAnswer(t *testing.T) {
-	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	release := make(chan struct{})
 	in := balancer.Request{Deadline: x.config.Clock.Now() + 1_000_000}
@@ -128,32 +128,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Call{Client: client, Pool: p, Arrived: x.config.Clock.Now(), ID: "1", Answer: make(chan engine.Answer, 1), In: in,
-		Attempt: func(_ context.Context, try *Try) engine.Reply {
-			if !try.MayGo(x.config.Clock.Now()) {
-				return engine.Reply{Status: balancer.Moot}
+	c := &Call{Client: client, Pool: p, ArrivedAt: x.config.Clock.Now(), ID: "1", Response: make(chan engine.Response, 1), Request: in,
+		Attempt: func(_ context.Context, try *AttemptContext) engine.AttemptResult {
+			if !try.ClaimSend(x.config.Clock.Now()) {
+				return engine.AttemptResult{Status: balancer.Moot}
 			}
 			<-release
-			return engine.Reply{Status: balancer.OK, At: x.config.Clock.Now(), Answer: "yes"}
+			return engine.AttemptResult{Status: balancer.OK, At: x.config.Clock.Now(), Response: "yes"}
 		}}
 	x.Submit(c)
-	again := &Call{Client: client, Pool: p, ID: "1", Answer: make(chan engine.Answer, 1), In: in}
+	again := &Call{Client: client, Pool: p, ID: "1", Response: make(chan engine.Response, 1), Request: in}
 	x.Submit(again)
-	if a := scriptedpeer.Within(t, again.Answer, "answer to an open id"); a.Verdict != engine.IDOpen {
+	if a := scriptedpeer.Within(t, again.Response, "answer to an open id"); a.Verdict != engine.DuplicateID {
 		t.Errorf("the same id once more: verdict %v", a.Verdict)
 	}
 	close(release)
-	if a := scriptedpeer.Within(t, c.Answer, "answer"); a.Verdict != engine.Served || a.Reply.Answer != "yes" {
+	if a := scriptedpeer.Within(t, c.Response, "answer"); a.Verdict != engine.Served || a.Result.Response != "yes" {
 		t.Errorf("answer %+v", a)
 	}
-	x.Leave(c) // too late to matter
+	x.ClientGone(c) // too late to matter
 	left := make(chan [2]int, 1)
-	x.post(func(monotime.Micros) { left <- [2]int{x.engine.Calls(), client.Open()} })
+	x.post(func(monotime.Micros) { left <- [2]int{x.engine.Calls(), client.OpenCalls()} })
 	if n := scriptedpeer.Within(t, left, "counts"); n != [2]int{} {
 		t.Errorf("left behind: %d calls, %d ids", n[0], n[1])
 	}
 	select {
-	case a := <-c.Answer:
+	case a := <-c.Response:
 		t.Errorf("a second answer: %+v", a)
 	case <-time.After(time.Millisecond):
 	}
@@ -162,21 +162,21 @@
 // call returns a call whose attempts wait for release.
 func (p *Pool) call(t *testing.T, client *engine.Client, id string, release <-chan struct{}) *Call {
 	now := p.core.config.Clock.Now()
-	return &Call{Client: client, Pool: p, Arrived: now, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Deadline: now + 1_000_000},
-		Attempt: func(_ context.Context, try *Try) engine.Reply {
-			if !try.MayGo(p.core.config.Clock.Now()) {
-				return engine.Reply{Status: balancer.Moot}
+	return &Call{Client: client, Pool: p, ArrivedAt: now, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Deadline: now + 1_000_000},
+		Attempt: func(_ context.Context, try *AttemptContext) engine.AttemptResult {
+			if !try.ClaimSend(p.core.config.Clock.Now()) {
+				return engine.AttemptResult{Status: balancer.Moot}
 			}
 			<-release
-			return engine.Reply{Status: balancer.OK, At: p.core.config.Clock.Now(), Answer: p.pool.Name()}
+			return engine.AttemptResult{Status: balancer.OK, At: p.core.config.Clock.Now(), Response: p.pool.Name()}
 		}}
 }
 
 // Each pool has its own endpoints; one that is closed with a request open ends it, and takes nothing new.
 func TestPoolsComeAndGo(t *testing.T) {
-	first, u := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	first, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := first.core
-	second := pool(t, x, "second", engine.Member{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
+	second := pool(t, x, "second", engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -189,37 +189,39 @@
 	if got := []string{<-u.made, <-u.made}; got[0] != "127.0.0.1:1" || got[1] != "127.0.0.1:2" {
 		t.Errorf("targets %v", got)
 	}
-	if s := x.Snapshot(); len(s.Pools) != 2 || s.Pool("second") == nil || s.Pool("second").Members[0].Addr != "127.0.0.1:2" {
+	if s := x.Snapshot(); len(s.Pools) != 2 || s.Pool("second") == nil || s.Pool("second").Endpoints[0].Addr != "127.0.0.1:2" {
 		t.Errorf("snapshot %+v", s)
 	}
 	second.Close()
 	late := second.call(t, client, "3", release)
 	x.Submit(late)
-	if got := scriptedpeer.Within(t, late.Answer, "answer of a closed pool"); got.Verdict != engine.Refused {
+	if got := scriptedpeer.Within(t, late.Response, "answer of a closed pool"); got.Verdict != engine.Rejected {
 		t.Errorf("a closed pool took a request: %+v", got)
 	}
 	gone := make(chan bool, 1)
-	x.post(func(monotime.Micros) { gone <- second.pool.Gone() })
+	x.post(func(monotime.Micros) { gone <- second.pool.Dissolved() })
 	if <-gone {
 		t.Error("a pool went with a request open")
 	}
 	close(release)
 	for _, c := range []*Call{a, b} {
-		if got := scriptedpeer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != c.Pool.pool.Name() {
+		if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != c.Pool.pool.Name() {
 			t.Errorf("answer %+v", got)
 		}
 	}
-	x.post(func(monotime.Micros) { gone <- second.pool.Gone() && x.engine.Pools() == 1 && !first.pool.Gone() })
+	x.post(func(monotime.Micros) {
+		gone <- second.pool.Dissolved() && x.engine.Pools() == 1 && !first.pool.Dissolved()
+	})
 	if !<-gone {
 		t.Error("a closed pool without requests stays")
 	}
-	second.Members(context.Background(), engine.Told{Kind: balancer.ListFull, Generation: 9}) // too late to matter
+	second.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 9}) // too late to matter
 	x.sync(t)
 }
 
 // An answer that has begun is the client's; what follows of the attempt changes nothing for it.
 func TestBegunAnswer(t *testing.T) {
-	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1, MaxOpen: 1})
 	if err != nil {
@@ -227,22 +229,22 @@
 	}
 	release, ended := make(chan struct{}), make(chan bool, 1)
 	c := p.call(t, client, "1", nil)
-	c.In.Deadline = c.Arrived + 50_000
-	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
+	c.Request.Deadline = c.ArrivedAt + 50_000
+	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if !try.MayGo(now) || !try.Began(engine.Reply{Status: balancer.OK, At: now, Answer: "begun"}) {
-			return engine.Reply{Status: balancer.Moot}
+		if !try.ClaimSend(now) || !try.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now, Response: "begun"}) {
+			return engine.AttemptResult{Status: balancer.Moot}
 		}
 		<-release
 		ended <- ctx.Err() == nil
-		return engine.Reply{Status: balancer.Reset, At: now}
+		return engine.AttemptResult{Status: balancer.Reset, At: now}
 	}
 	x.Submit(c)
-	if got := scriptedpeer.Within(t, c.Answer, "answer"); got.Verdict != engine.Served || got.Reply.Answer != "begun" {
+	if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != "begun" {
 		t.Fatalf("answer %+v", got)
 	}
 	over := make(chan struct{})
-	defer time.AfterFunc(clock.Duration(c.In.Deadline+20_000-x.config.Clock.Now()), func() { close(over) }).Stop()
+	defer time.AfterFunc(clock.Duration(c.Request.Deadline+20_000-x.config.Clock.Now()), func() { close(over) }).Stop()
 	scriptedpeer.Within(t, over, "the deadline")
 	if waiting, inFlight, _, calls := p.Counts(); waiting != 0 || inFlight != 0 || calls != 1 {
 		t.Errorf("while it streams: %d waiting, %d in flight, %d calls", waiting, inFlight, calls)
@@ -263,7 +265,7 @@
 
 // A client that goes just as its answer begins leaves no attempt waiting to be read.
 func TestLeaveAsTheAnswerBegins(t *testing.T) {
-	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
@@ -271,24 +273,24 @@
 	}
 	ended := make(chan struct{})
 	c := p.call(t, client, "1", nil)
-	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
+	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if try.MayGo(now) && try.Began(engine.Reply{Status: balancer.OK, At: now}) {
+		if try.ClaimSend(now) && try.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now}) {
 			<-ctx.Done()
 			close(ended)
 		}
-		return engine.Reply{Status: balancer.Cancelled, At: now}
+		return engine.AttemptResult{Status: balancer.Cancelled, At: now}
 	}
 	x.Submit(c)
-	scriptedpeer.Within(t, c.Answer, "answer")
-	x.Leave(c)
+	scriptedpeer.Within(t, c.Response, "answer")
+	x.ClientGone(c)
 	scriptedpeer.Within(t, ended, "the end of the attempt")
 }
 
 // What has gone out and cannot be shown again is not tried again, whatever the class allows. Whether it is refused or failed
 // is the balancer's word, as for any other: the class is safe.
 func TestSpentRequest(t *testing.T) {
-	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}, engine.Member{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}, engine.EndpointInfo{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
@@ -297,15 +299,15 @@
 	for _, spent := range []bool{true, false} {
 		tries := make(chan struct{}, 10)
 		c := p.call(t, client, "1", nil)
-		c.Spent = func() bool { return spent }
-		c.Attempt = func(_ context.Context, try *Try) engine.Reply {
-			try.MayGo(x.config.Clock.Now())
+		c.NotReplayable = func() bool { return spent }
+		c.Attempt = func(_ context.Context, try *AttemptContext) engine.AttemptResult {
+			try.ClaimSend(x.config.Clock.Now())
 			tries <- struct{}{}
-			return engine.Reply{Status: balancer.Error, At: x.config.Clock.Now(), Answer: "said"}
+			return engine.AttemptResult{Status: balancer.Error, At: x.config.Clock.Now(), Response: "said"}
 		}
 		x.Submit(c)
-		got := scriptedpeer.Within(t, c.Answer, "answer")
-		if got.Reply == nil || got.Reply.Answer != "said" || spent != (len(tries) == 1) || spent && got.Verdict != engine.Refused {
+		got := scriptedpeer.Within(t, c.Response, "answer")
+		if got.Result == nil || got.Result.Response != "said" || spent != (len(tries) == 1) || spent && got.Verdict != engine.Rejected {
 			t.Errorf("spent %v: %+v after %d tries", spent, got, len(tries))
 		}
 		x.sync(t)
@@ -315,7 +317,7 @@
 // The sending of an attempt that is withdrawn has ended before anything else is done, for its request or another, however long
 // whoever makes the attempt takes to notice: no two are out where two may not be.
 func TestSendingEndsBeforeTheNext(t *testing.T) {
-	p, _ := running(t, engine.Member{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
@@ -325,17 +327,17 @@
 	out, over := make(chan struct{}), make(chan struct{})
 	defer close(over)
 	c := p.call(t, client, "1", nil)
-	c.In.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
-	c.Attempt = func(ctx context.Context, try *Try) engine.Reply {
-		if try.Hold(func() { ended.Store(true) }) && try.MayGo(x.config.Clock.Now()) {
+	c.Request.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
+	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
+		if try.OnAbort(func() { ended.Store(true) }) && try.ClaimSend(x.config.Clock.Now()) {
 			close(out)
 		}
 		<-over // it notices nothing
-		return engine.Reply{Status: balancer.Reset, At: x.config.Clock.Now()}
+		return engine.AttemptResult{Status: balancer.Reset, At: x.config.Clock.Now()}
 	}
 	x.Submit(c)
 	scriptedpeer.Within(t, out, "the attempt")
-	x.Leave(c)
+	x.ClientGone(c)
 	x.sync(t)
 	if !ended.Load() {
 		t.Error("what comes next finds the attempt still being sent")
@@ -344,20 +346,20 @@
 
 // A connection belongs to whoever comes first: one that is let go is not ended any more, one that was ended is not let go.
 func TestOneEndsTheSending(t *testing.T) {
-	var l line
-	if !l.hold(func() { t.Error("ended after it was let go") }) || !l.letGo() {
+	var l sendGuard
+	if !l.attach(func() { t.Error("ended after it was let go") }) || !l.detach() {
 		t.Error("not held, or not let go")
 	}
-	l.sever()
-	if l.hold(func() {}) {
+	l.abort()
+	if l.attach(func() {}) {
 		t.Error("held after the end")
 	}
 	ends := 0
-	var other line
-	other.hold(func() { ends++ })
-	other.sever()
-	other.sever()
-	if other.letGo() || ends != 1 {
+	var other sendGuard
+	other.attach(func() { ends++ })
+	other.abort()
+	other.abort()
+	if other.detach() || ends != 1 {
 		t.Errorf("let go after the end, or ended %d times", ends)
 	}
 }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -33,7 +33,7 @@
 	peers     atomic.Pointer[peers.Peers] // nil while it is among no others
 	spent     *spentLog                   // nil where none is kept
 	settling  *settling                   // nil while it takes no part in the order of machines out
-	inherited *engine.Orders              // what the process before this one obeyed; nil is nothing
+	inherited *engine.MaintenancePlan     // what the process before this one obeyed; nil is nothing
 	clk       clock.Clock
 	operating func() // ends serving operators; nil while none are
 
@@ -57,19 +57,19 @@
 	d := &generation{o: o, config: c, log: o.Log, pools: pools{}}
 	clk := clock.New()
 	if c.Peers.On {
-		clk = clock.Sleepless() // what is lent ends while the host sleeps, too
+		clk = clock.NewBootClock() // what is lent ends while the host sleeps, too
 	}
 	d.clk = clk
 	n := &c.Connections
 	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
-		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers})
-	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Sharing: c.Sharing(), Upstream: d.conns, Log: o.Log}
+		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses})
+	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Concurrency: c.Sharing(), Upstream: d.conns, Log: o.Log}
 	if path := c.Peers.SpentLog; path != "" {
 		var err error
 		if d.spent, err = openSpent(path, o.Log); err != nil {
 			return nil, fmt.Errorf("peers.spent: %w", err)
 		}
-		conf.Spent = d.spent.note
+		conf.OnQuotaSpent = d.spent.note
 	}
 	d.core = core.New(conf)
 	if err := d.join(); err != nil {
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -223,7 +223,7 @@
 	r.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
-	if err := r.core.Wait(ctx); err != nil {
+	if err := r.core.WaitReady(ctx); err != nil {
 		t.Fatal("not ready: ", err)
 	}
 	return r
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -55,7 +55,7 @@
 
 // byHand takes an endpoint out, or lets it in again. It holds at this instance, and goes with its place.
 func (d *generation) byHand(ctx context.Context, target string, out bool) error {
-	_, known, err := d.core.ByHand(ctx, target, out, takeover.Monotonic())
+	_, known, err := d.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	if err == nil && !known {
 		err = admin.ErrUnknown
 	}
@@ -64,21 +64,21 @@
 
 // figures returns the figures of one moment, a line each.
 func (d *generation) figures(ctx context.Context) ([]byte, error) {
-	f, err := d.core.Figures(ctx, func() {})
+	f, err := d.core.Statistics(ctx, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
 	}
 	var b strings.Builder
 	line := func(name string, v uint64) { fmt.Fprintf(&b, "%s=%d\n", name, v) }
-	line("registry_entries", uint64(f.Listed))
-	line("out_of_rotation", uint64(f.Avoided))
-	if f.Bounded {
-		line("overload_level_percent", uint64(100*f.Level+0.5))
-		line("overload_shed", f.Shed)
-		line("overload_probes_kept_in", f.KeptIn)
+	line("registry_entries", uint64(f.ListedEndpoints))
+	line("out_of_rotation", uint64(f.AvoidedEndpoints))
+	if f.OverloadControlled {
+		line("overload_level_percent", uint64(100*f.OverloadLevel+0.5))
+		line("overload_shed", f.ShedRequests)
+		line("overload_probes_kept_in", f.SuppressedProbes)
 	}
-	if f.Limited {
-		line("tenants_over_limit", f.OverLimit)
+	if f.HasTenantLimits {
+		line("tenants_over_limit", f.RequestsOverLimit)
 	}
 	if p := d.peers.Load(); p != nil {
 		alive := 0
@@ -89,8 +89,8 @@
 		}
 		w := p.Figures()
 		line("peers_alive", uint64(alive))
-		line("peers_lent", map[bool]uint64{true: 1}[f.Lent])
-		line("peers_suspects", uint64(f.Suspects))
+		line("peers_lent", map[bool]uint64{true: 1}[f.QuotaLeased])
+		line("peers_suspects", uint64(f.SuspectedEndpoints))
 		line("peers_words_sent", w.Sent)
 		line("peers_words_heard", w.Heard)
 		line("peers_words_dropped", w.Dropped)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -36,20 +36,22 @@
 // newPool adds a pool to the core. begin starts the source of its list.
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
 	p := &pool{conf: conf}
-	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), Known: engine.Told{Generation: discovery.Unlisted},
+	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.Unlisted},
 		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
 		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
-		Subset:   d.config.Fleet.Part(), Rest: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
+		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
-		c.Listed = true
-		c.Known = endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, 0)
+		c.StaticList = true
+		c.InitialEndpoints = endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, 0)
 	case conf.File != "":
-		c.Listed = true
+		c.StaticList = true
 	default:
 		p.watch = d.watcher(p, conf.Discovery)
 		if subscribe {
-			p.source = discovery.Once(p.watch, func() { p.endpoints.Members(context.Background(), engine.Told{Kind: balancer.ListFailed}) })
+			p.source = discovery.Once(p.watch, func() {
+				p.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
+			})
 		} else {
 			p.source = discovery.Keep(p.watch)
 		}
@@ -63,14 +65,14 @@
 // watcher returns a watcher of a discovery that tells a pool. It asks for the whole list first.
 func (d *generation) watcher(p *pool, addr string) *discovery.Watcher {
 	return discovery.NewWatcher(addr, discovery.Unlisted, int(d.o.Config.Process.Memory.Bytes>>20),
-		func(ctx context.Context, t engine.Told) { p.endpoints.Members(ctx, t) }, d.log)
+		func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 }
 
 // begin starts the source of a pool's list.
 func (d *generation) begin(p *pool) {
 	switch {
 	case p.conf.File != "":
-		p.file = endpointsource.Watch(p.conf.File, endpointsource.Every, func(ctx context.Context, t engine.Told) { p.endpoints.Members(ctx, t) }, d.log)
+		p.file = endpointsource.Watch(p.conf.File, endpointsource.Every, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 	case p.source != nil && !d.o.Config.Site.Settings.Subscribe:
 		p.source.Watch(true)
 	}
@@ -120,10 +122,10 @@
 		case reflect.DeepEqual(p.conf, conf):
 		case conf.Endpoints != nil:
 			p.told++
-			p.endpoints.Members(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.told))
+			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.told))
 		default:
 			p.source.Move(d.watcher(p, conf.Discovery))
-			p.endpoints.Moved(conf.Source())
+			p.endpoints.SetSource(conf.Source())
 		}
 		after[conf.Name].conf = conf
 	}
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -39,7 +39,7 @@
 // row is what the record holds of a request.
 func (d *generation) row(x *http1.Exchange) accesslog.Row {
 	site, h := &d.o.Config.Site, d.hasher
-	r := accesslog.Row{Arrived: x.Arrived, Took: x.Ended - x.Arrived, Waited: x.Answer.Waited, Patience: x.Patience, Client: x.Client, Route: x.Route,
+	r := accesslog.Row{Arrived: x.Arrived, Took: x.Ended - x.Arrived, Waited: x.Answer.QueueTime, Patience: x.Patience, Client: x.Client, Route: x.Route,
 		Class: site.Classes[x.Class], Endpoint: x.Answer.Endpoint, Status: int32(x.Status), Attempts: int32(x.Answer.Attempts), Key: h.Hash("key", x.Key),
 		Object: h.Hash("object", x.Object), In: x.In, Out: x.Out, Retry: x.Retry}
 	if int(x.Tenant) < len(site.Tenants) {
@@ -50,9 +50,9 @@
 		r.Verdict = accesslog.Left
 	case x.Answer.Verdict == engine.Served:
 		r.Verdict = accesslog.Served
-	case x.Answer.Verdict == engine.Refused, x.Answer.Verdict == engine.Limited:
+	case x.Answer.Verdict == engine.Rejected, x.Answer.Verdict == engine.RateLimited:
 		r.Verdict = accesslog.Refused
-	case x.Answer.Verdict == engine.FailedLate:
+	case x.Answer.Verdict == engine.TimedOut:
 		r.Verdict = accesslog.Late
 	default:
 		r.Verdict = accesslog.Failed
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -259,8 +259,8 @@
 			t.Errorf("pool %q: what was learned is not there: %+v", name, p)
 		}
 	}
-	if p := s.Pool("file"); p != nil && len(p.Members) != 2 {
-		t.Errorf("the file's list is the old process's: %+v", p.Members)
+	if p := s.Pool("file"); p != nil && len(p.Endpoints) != 2 {
+		t.Errorf("the file's list is the old process's: %+v", p.Endpoints)
 	}
 	for range 4 {
 		if resp, _ := k.ask(t, "GET /file/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -296,7 +296,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
 	l.beside.Go(func() {
-		if l.core.Wait(ctx) == nil {
+		if l.core.WaitReady(ctx) == nil {
 			l.loop.Post(func() {
 				l.started = true
 				l.takerStep(decide.Started, "")
@@ -321,10 +321,10 @@
 	}
 	age := max(0, takeover.Monotonic()-s.Taken)
 	passed := l.core.Restore(s.Core, age)
-	if o := s.Core.Order; o != nil {
+	if o := s.Core.Maintenance; o != nil {
 		from := l.clk.Now() - age
-		l.inherited = &engine.Orders{Stop: o.Stop, Ahead: o.Ahead, Until: from + o.Until, End: from + o.End}
-		l.core.Order(*l.inherited)
+		l.inherited = &engine.MaintenancePlan{Stopped: o.Stopped, Announced: o.Announced, LeaseEnd: from + o.LeaseEnd, DrainDeadline: from + o.DrainDeadline}
+		l.core.ApplyMaintenancePlan(*l.inherited)
 	}
 	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(s.Core.Pools),
 		"passed over", passed)
@@ -421,7 +421,7 @@
 	if err := l.joinOthers(); err != nil {
 		l.log.Error("this instance knows of no others, and goes on with its least", "error", err)
 	}
-	l.core.BeginFleet()
+	l.core.StartCoordination()
 	if err := l.operate(); err != nil {
 		l.log.Error("operators' calls are not served", "error", err)
 	}
@@ -579,15 +579,15 @@
 		l.takeLn.Pause(true)
 		l.takes.Wait()
 	}
-	s := l.core.HandOver()
+	s := l.core.SnapshotForHandover()
 	if s != nil {
-		s.Fleet = l.core.GiveFleet()
+		s.Fleet = l.core.HandOverCoordination()
 	}
 	l.stopOperating() // before what it asks is taken from it
 	if o := l.unsettles(); o != nil && s != nil {
 		left := *o
-		left.Until, left.End = o.Until-l.clk.Now(), o.End-l.clk.Now()
-		s.Order = &left
+		left.LeaseEnd, left.DrainDeadline = o.LeaseEnd-l.clk.Now(), o.DrainDeadline-l.clk.Now()
+		s.Maintenance = &left
 	}
 	l.leaveOthers(false)
 	l.state = l.encode(s)
@@ -598,7 +598,7 @@
 	l.takerStep(decide.TookBack, "")
 	l.emptied = false
 	l.front.Release(nil)
-	l.core.TakeBack()
+	l.core.CancelHandover()
 	l.together()
 	if l.waiting != nil {
 		l.waiting()
@@ -626,7 +626,7 @@
 	l.log.Info("stopping")
 	l.front.Release(nil)
 	l.front.Quiesce()
-	l.core.HandOver()
+	l.core.SnapshotForHandover()
 	if l.takeLn != nil {
 		l.takeLn.Close()
 	}
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -445,7 +445,7 @@
 		{"another discovery", state(func(s *takeover.State) { s.Core.Pools[0].Source = "discovery 127.0.0.1:1" }), false},
 		{"another class", state(rename("book", "cancel")), true},
 		{"no class that is known", state(func(s *takeover.State) { rename("o", "0")(s); rename("a", "4")(s) }), true},
-		{"names missing", state(func(s *takeover.State) { s.Core.Pools[0].Names = nil }), false},
+		{"names missing", state(func(s *takeover.State) { s.Core.Pools[0].LearnedNames = nil }), false},
 		{"so old that nothing of it counts", state(func(s *takeover.State) { s.Taken -= 3600_000_000 }), false},
 		{"from the future", state(func(s *takeover.State) { s.Taken += 3600_000_000 }), true},
 	} {
--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -53,7 +53,7 @@
 		t.s.ServedWeight += c.Worth
 	case x.Answer.Verdict == engine.Served:
 		t.s.ServedWeight += c.Worth * c.LateWorth
-	case x.Answer.Verdict == engine.Failed || x.Answer.Verdict == engine.FailedLate:
+	case x.Answer.Verdict == engine.Failed || x.Answer.Verdict == engine.TimedOut:
 		t.s.Failed++
 	}
 }
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -25,13 +25,13 @@
 	if t == nil {
 		return nil
 	}
-	t.Lives = rand.Uint64
-	t.Tell = func(to string, w words.Word) {
+	t.NextIncarnation = rand.Uint64
+	t.Send = func(to string, w words.Word) {
 		if p := d.peers.Load(); p != nil { // else it is one that has not begun, or has given its place away
 			p.Tell(to, w)
 		}
 	}
-	return d.core.Join(*t)
+	return d.core.JoinFleet(*t)
 }
 
 // bindAgain is how often an address is asked for that the process before this one may still have.
@@ -43,7 +43,7 @@
 	if !c.On || d.peers.Load() != nil {
 		return nil
 	}
-	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.Word}
+	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.ReceiveFleetMessage}
 	if x := d.settling; x != nil {
 		o.Settle = x.hear
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	if tell {
-		d.core.GiveFleet()
+		d.core.HandOverCoordination()
 	}
 	p.Close(tell)
 }
@@ -138,7 +138,7 @@
 		s.lines <- "# some are missing\n"
 	}
 	select {
-	case s.lines <- strconv.FormatInt(clock.Boot(), 10) + " " + budget + "\n":
+	case s.lines <- strconv.FormatInt(clock.BootTime(), 10) + " " + budget + "\n":
 	default:
 		s.lost = true
 	}
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -31,7 +31,7 @@
 	peak    float64
 	peakAt  clock.Micros64
 	open    map[string]int
-	obeyed  engine.Orders
+	obeyed  engine.MaintenancePlan
 	waiting map[uint64]chan consensus.OperatorReply
 	warned  bool
 }
@@ -67,12 +67,12 @@
 	}
 	x.node = node
 	node.SetSources(x.look, func(name string) int { return x.open[name] })
-	x.obeyed = engine.Orders{Wait: true}
+	x.obeyed = engine.MaintenancePlan{AwaitingPlan: true}
 	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
 		x.obeyed = *o
-		node.Follower().Inherit(maintenance.Plan{Excluded: o.Stop, Announced: o.Ahead}, o.Until)
+		node.Follower().Inherit(maintenance.Plan{Excluded: o.Stopped, Announced: o.Announced}, o.LeaseEnd)
 	}
-	d.core.Order(x.obeyed)
+	d.core.ApplyMaintenancePlan(x.obeyed)
 	var ctx context.Context
 	ctx, x.stop = context.WithCancel(context.Background())
 	d.settling = x
@@ -81,7 +81,7 @@
 }
 
 // unsettles ends it, and returns what is obeyed: it is obeyed on here until it holds no more.
-func (d *generation) unsettles() (o *engine.Orders) {
+func (d *generation) unsettles() (o *engine.MaintenancePlan) {
 	if x := d.settling; x != nil {
 		x.stop()
 		<-x.ended
@@ -89,7 +89,7 @@
 			x.file.Close()
 		}
 		d.settling = nil
-		if !x.obeyed.Wait {
+		if !x.obeyed.AwaitingPlan {
 			o = &x.obeyed
 			d.inherited = o // should nobody take this process's place, it goes on
 		}
@@ -132,7 +132,7 @@
 	if len(names) == 0 && now < x.factsAt+lookEvery {
 		return
 	}
-	f, open := x.d.core.Stand(names)
+	f, open := x.d.core.MaintenanceStatus(names)
 	x.open, x.factsAt = open, now
 	round := func(v float64) float64 { return math.Round(v*20) / 20 } // what hardly changes is not logged
 	if f.Usage > x.peak || now >= x.peakAt+peakFor {
@@ -153,13 +153,13 @@
 		}
 	}
 	order, until, end := x.node.Follower().CurrentPlan()
-	o := engine.Orders{Wait: !x.node.Follower().HasPlan(), Stop: order.Excluded, Ahead: order.Announced, Until: until, End: end}
+	o := engine.MaintenancePlan{AwaitingPlan: !x.node.Follower().HasPlan(), Stopped: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
 	if fmt.Sprint(o) != fmt.Sprint(x.obeyed) {
-		if fmt.Sprint(o.Stop) != fmt.Sprint(x.obeyed.Stop) {
-			x.d.log.Info("machines out for work", "out", o.Stop, "next in line", o.Ahead)
+		if fmt.Sprint(o.Stopped) != fmt.Sprint(x.obeyed.Stopped) {
+			x.d.log.Info("machines out for work", "out", o.Stopped, "next in line", o.Announced)
 		}
 		x.obeyed = o
-		x.d.core.Order(o)
+		x.d.core.ApplyMaintenancePlan(o)
 	}
 	for number, c := range x.waiting {
 		if r, ok := x.node.TakeReply(number); ok {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,8 +41,8 @@
 }
 
 // Told returns the list as the core takes it.
-func (l *List) Told() engine.Told {
-	t := engine.Told{Kind: balancer.ListDelta, Generation: l.Generation, Members: l.members()}
+func (l *List) Told() engine.EndpointUpdate {
+	t := engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: l.Generation, Endpoints: l.members()}
 	if l.Reset {
 		t.Kind = balancer.ListFull
 	}
@@ -50,15 +50,15 @@
 }
 
 // members returns the list's entries as the core takes them.
-func (l *List) members() []engine.Member {
-	all := make([]engine.Member, 0, len(l.Instances))
+func (l *List) members() []engine.EndpointInfo {
+	all := make([]engine.EndpointInfo, 0, len(l.Instances))
 	for _, in := range l.Instances {
 		state, known := states[in.Lifecycle]
 		if !known {
 			state = balancer.Draining
 		}
-		all = append(all, engine.Member{Name: in.ID, Addr: in.Addr, Zone: in.Zone, Kind: in.Kind, Cell: in.Cell,
-			State: state, Weight: in.Weight, Started: in.StartedMs * 1000})
+		all = append(all, engine.EndpointInfo{Name: in.ID, Addr: in.Addr, Zone: in.Zone, Kind: in.Kind, Cell: in.Cell,
+			State: state, Weight: in.Weight, StartedAt: in.StartedMs * 1000})
 	}
 	return all
 }
@@ -87,7 +87,7 @@
 const Unlisted = -1
 
 // Teller is told of each list. What it is told when the context has ended comes too late.
-type Teller func(ctx context.Context, t engine.Told)
+type Teller func(ctx context.Context, t engine.EndpointUpdate)
 
 // Watcher holds a watch at one discovery and tells of each list.
 type Watcher struct {
@@ -273,9 +273,9 @@
 	l.Reset = true
 	told := l.Told()
 	// Twice in succession it has answered with what is older than our list: its generations have begun anew.
-	told.Back = w.after != Unlisted && l.Generation < w.after
-	told.Anew = w.after == Unlisted || told.Back
-	if told.Back {
+	told.GenerationsReset = w.after != Unlisted && l.Generation < w.after
+	told.NewSource = w.after == Unlisted || told.GenerationsReset
+	if told.GenerationsReset {
 		w.log.Warn("discovery has begun anew", "generation", l.Generation, "had", w.after)
 	}
 	w.after, w.back = l.Generation, false
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,9 +21,9 @@
 )
 
 // watching starts a watcher and returns what it tells.
-func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.Told {
-	told := make(chan engine.Told, 16)
-	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.Told) { told <- l }, scriptedpeer.Quiet)
+func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.EndpointUpdate {
+	told := make(chan engine.EndpointUpdate, 16)
+	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
 	w.Mute, w.Answer = mute, scriptedpeer.Soon // a busy machine is no silence
 	s := discovery.Keep(w)
 	s.Watch(true)
@@ -90,7 +90,7 @@
 		b.Lines <- line
 	}
 	got := scriptedpeer.Within(t, told, "indented list")
-	if got.Generation != 8 || len(got.Members) != 1 || got.Members[0].Name != "s-1" {
+	if got.Generation != 8 || len(got.Endpoints) != 1 || got.Endpoints[0].Name != "s-1" {
 		t.Errorf("told %+v", got)
 	}
 	b.Lines <- scripteddiscovery.Line(9, false) + scripteddiscovery.Line(10, false)
@@ -147,7 +147,7 @@
 			}
 			t.Run(name+", "+mode, func(t *testing.T) {
 				t.Parallel()
-				told := make(chan engine.Told, 4)
+				told := make(chan engine.EndpointUpdate, 4)
 				silent := make(chan time.Time, 1)
 				open := func(c *net.TCPConn, r *bufio.Reader) {
 					scriptedpeer.Take(r)
@@ -159,7 +159,7 @@
 				if mode == "asked" {
 					calls = []func(*net.TCPConn, *bufio.Reader){open, good}
 				}
-				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.Told) { told <- l }, scriptedpeer.Quiet)
+				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
 				s := source(w)
 				s.Watch(true)
 				t.Cleanup(s.Close)
@@ -197,12 +197,12 @@
 	expect(" ") // the whole list
 	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	got := scriptedpeer.Within(t, told, "list of the new history")
-	if got.Generation != 3 || !got.Anew || !got.Back || got.Kind != balancer.ListFull {
+	if got.Generation != 3 || !got.NewSource || !got.GenerationsReset || got.Kind != balancer.ListFull {
 		t.Errorf("told %+v", got)
 	}
 	expect("1 3")
 	b.Lines <- scripteddiscovery.Line(4, false)
-	if got := scriptedpeer.Within(t, told, "what follows"); got.Generation != 4 || got.Anew {
+	if got := scriptedpeer.Within(t, told, "what follows"); got.Generation != 4 || got.NewSource {
 		t.Errorf("told %+v", got)
 	}
 }
@@ -217,7 +217,7 @@
 		t.Errorf("asked with %q, want the whole list", got)
 	}
 	b.Lines <- scripteddiscovery.Line(8, true)
-	if got := scriptedpeer.Within(t, told, "list"); got.Generation != 8 || got.Anew {
+	if got := scriptedpeer.Within(t, told, "list"); got.Generation != 8 || got.NewSource {
 		t.Errorf("told %+v", got)
 	}
 }
--- a/internal/endpointsource/membership.go
+++ b/internal/endpointsource/membership.go
@@ -19,10 +19,10 @@
 )
 
 // Listed returns a list of addresses as the core takes it: each is the endpoint's name, too.
-func Listed(addresses []string, zone string, generation int64) engine.Told {
-	t := engine.Told{Kind: balancer.ListFull, Generation: generation}
+func Listed(addresses []string, zone string, generation int64) engine.EndpointUpdate {
+	t := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: generation}
 	for _, a := range addresses {
-		t.Members = append(t.Members, engine.Member{Name: a, Addr: a, Zone: zone, Weight: 1})
+		t.Endpoints = append(t.Endpoints, engine.EndpointInfo{Name: a, Addr: a, Zone: zone, Weight: 1})
 	}
 	return t
 }
--- a/internal/endpointsource/membership_test.go
+++ b/internal/endpointsource/membership_test.go
@@ -28,8 +28,8 @@
 // Each change of the file is told as a whole list, with a generation of its own; what makes no sense changes nothing.
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pool.json")
-	told := make(chan engine.Told, 1)
-	f := Watch(path, time.Millisecond, func(_ context.Context, t engine.Told) { told <- t }, scriptedpeer.Quiet)
+	told := make(chan engine.EndpointUpdate, 1)
+	f := Watch(path, time.Millisecond, func(_ context.Context, t engine.EndpointUpdate) { told <- t }, scriptedpeer.Quiet)
 	defer f.Close()
 	write := func(text string) {
 		t.Helper()
@@ -40,8 +40,8 @@
 			t.Fatal(err)
 		}
 	}
-	names := func(t engine.Told) (all []string) {
-		for _, m := range t.Members {
+	names := func(t engine.EndpointUpdate) (all []string) {
+		for _, m := range t.Endpoints {
 			all = append(all, m.Name)
 		}
 		return all
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -12,9 +12,9 @@
 }
 
 // nowhere stands in for the target of an endpoint that is not known.
-type nowhere struct{}
+type unknownTarget struct{}
 
-func (nowhere) Drop() {}
+func (unknownTarget) Drop() {}
 
 // Send starts an attempt.
 func (x actions) Send(id uint64, number uint32, timeout monotime.Micros) {
@@ -23,50 +23,50 @@
 	if c == nil {
 		return
 	}
-	a := &Attempt{Call: c, Number: len(c.attempts), Endpoint: e, Sent: now, Deadline: c.In.Deadline}
+	a := &Attempt{Call: c, Number: len(c.attempts), Endpoint: e, StartedAt: now, Deadline: c.Request.Deadline}
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, now+timeout)
 	}
-	a.Until = x.pool.balancer.Until(id)
+	a.SendBefore = x.pool.balancer.Until(id)
 	c.attempts = append(c.attempts, a)
-	c.open++
-	x.pool.weigh(now, 1)
-	if l := x.pool.loaded; l != nil && a.Number == 0 {
-		l.control.OnAttemptSent(now, int(c.In.Class), true)
+	c.openAttempts++
+	x.pool.observeLoad(now, 1)
+	if l := x.pool.overload; l != nil && a.Number == 0 {
+		l.control.OnAttemptSent(now, int(c.Request.Class), true)
 	} else if l != nil {
-		x.pool.sentFurther(now, int(c.In.Class))
+		x.pool.countRetry(now, int(c.Request.Class))
 	}
-	if c.ended || e == nil || now >= a.Deadline || len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
+	if c.finished || e == nil || now >= a.Deadline || len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
 		if e == nil {
-			a.Endpoint = &Endpoint{Number: number, Target: nowhere{}}
+			a.Endpoint = &Endpoint{Number: number, Target: unknownTarget{}}
 		}
-		x.at(now, func(now monotime.Micros) { x.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
+		x.schedule(now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: balancer.Moot, At: now}) })
 		return
 	}
-	a.timeUp = x.at(a.Deadline, func(now monotime.Micros) { x.timeUp(now, a) })
-	if o := x.config.Observe; o != nil {
-		o.Sent(now, e.Name)
+	a.deadlineTimer = x.schedule(a.Deadline, func(now monotime.Micros) { x.expireAttempt(now, a) })
+	if o := x.config.Observer; o != nil {
+		o.AttemptStarted(now, e.Name)
 	}
-	x.config.Host.Start(a)
+	x.config.Host.StartAttempt(a)
 }
 
 // Refuse answers a client that trying again is harmless.
 func (x actions) Refuse(id uint64, retryAfter monotime.Micros) {
-	if c := x.calls[id]; c != nil && !c.ended {
+	if c := x.calls[id]; c != nil && !c.finished {
 		if len(c.attempts) == 0 {
-			x.pool.turnedAway(x.now)
-			if l := x.pool.loaded; l != nil {
-				l.control.OnRejected(x.now, int(c.In.Class), true)
+			x.pool.observeRejection(x.now)
+			if l := x.pool.overload; l != nil {
+				l.control.OnRejected(x.now, int(c.Request.Class), true)
 			}
 		}
-		x.finish(c, Answer{Verdict: Refused, RetryAfter: retryAfter, Reply: c.said})
+		x.respond(c, Response{Verdict: Rejected, RetryAfter: retryAfter, Result: c.lastResult})
 	}
 }
 
 // Fail answers a client that its request failed.
 func (x actions) Fail(id uint64) {
-	if c := x.calls[id]; c != nil && !c.ended {
-		x.fail(c)
+	if c := x.calls[id]; c != nil && !c.finished {
+		x.failRequest(c)
 	}
 }
 
@@ -78,17 +78,17 @@
 	}
 	a := c.attempts[number]
 	status := balancer.Cancelled
-	if x.config.Host.Shut(a) {
+	if x.config.Host.CancelUnsent(a) {
 		status = balancer.Moot
 	}
-	x.config.Host.Withdraw(a)
-	x.at(x.now, func(now monotime.Micros) { x.outcome(now, a, Reply{Status: status, At: now}) })
+	x.config.Host.AbortAttempt(a)
+	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, At: now}) })
 }
 
 // Timer asks for a Timer event.
 func (x actions) Timer(delay monotime.Micros, token uint32) {
-	x.at(x.now+delay, func(now monotime.Micros) {
-		if !x.pool.gone {
+	x.schedule(x.now+delay, func(now monotime.Micros) {
+		if !x.pool.dissolved {
 			x.pool.balancer.Timer(now, token)
 		}
 	})
@@ -96,8 +96,8 @@
 
 // Probe asks an endpoint for its load.
 func (x actions) Probe(number uint32) {
-	if e := x.pool.byNumber[number]; e != nil && x.pool.mayProbe(x.now, number) {
-		x.config.Host.Probe(x.pool, e)
+	if e := x.pool.byNumber[number]; e != nil && x.pool.allowProbe(x.now, number) {
+		x.config.Host.StartProbe(x.pool, e)
 	}
 }
 
--- a/internal/engine/byhand_test.go
+++ b/internal/engine/byhand_test.go
@@ -20,7 +20,7 @@
 		now, generation := monotime.Micros(1_000*second), int64(1)
 		tell := func() {
 			generation++
-			h.p.Members(now, Told{Kind: balancer.ListFull, Generation: generation, Members: list})
+			h.p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListFull, Generation: generation, Endpoints: list})
 		}
 		tell()
 		out := map[string]bool{}
@@ -30,7 +30,7 @@
 			switch name := list[i].Name; rng.IntN(6) {
 			case 0, 1:
 				yes := rng.IntN(3) > 0
-				w, known := h.x.ByHand(now, name, yes, now)
+				w, known := h.x.SetCordon(now, name, yes, now)
 				if has := h.p.byName[name] != nil; known != (has || out[name]) {
 					t.Fatalf("seed %d: known %v; listed %v, out %v", seed, known, has, out[name])
 				}
@@ -45,7 +45,7 @@
 				tell()
 			case 4: // old news, again
 				for _, w := range words {
-					h.x.Hear(now, w)
+					h.x.ReceiveCordon(now, w)
 				}
 			case 5:
 				if rng.IntN(4) > 0 {
@@ -54,7 +54,7 @@
 				s := h.x.Snapshot(now)
 				h, c, _ = instance(t, nil)
 				h.run(c, now-second, 0, 0)
-				h.p.Members(now, Told{Kind: balancer.ListFull, Generation: 0, Members: nil})
+				h.p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListFull, Generation: 0, Endpoints: nil})
 				h.x.Restore(now, 0, s)
 			}
 			clear(h.to)
@@ -65,26 +65,26 @@
 				}
 			}
 			for name, e := range h.p.byName {
-				if e.banned != out[name] || out[name] && e.MaySend(now) {
-					t.Fatalf("seed %d: %s banned %v, may send %v; want out %v", seed, name, e.banned, e.MaySend(now), out[name])
+				if e.excluded != out[name] || out[name] && e.MaySend(now) {
+					t.Fatalf("seed %d: %s banned %v, may send %v; want out %v", seed, name, e.excluded, e.MaySend(now), out[name])
 				}
 			}
 		}
 	}
 	h, _, _ := instance(t, nil)
-	if _, known := h.x.ByHand(1_000*second, "s-nobody", true, 1); known || len(h.x.Words()) != 0 {
-		t.Errorf("an id that nobody has: known %v, words %v", known, h.x.Words())
+	if _, known := h.x.SetCordon(1_000*second, "s-nobody", true, 1); known || len(h.x.Cordons()) != 0 {
+		t.Errorf("an id that nobody has: known %v, words %v", known, h.x.Cordons())
 	}
 }
 
 // The figures speak of the list and of what is avoided.
 func TestFigures(t *testing.T) {
 	h, _, _ := instance(t, nil)
-	h.x.ByHand(1_000*second, "s-3", true, 1)
-	h.x.ByHand(1_000*second, "s-3", true, 2)
-	h.x.ByHand(1_000*second, "s-4", true, 3)
-	h.x.ByHand(1_000*second, "s-4", false, 4)
-	if f := h.x.Figures(1_000 * second); f != (Figures{Listed: 60, Avoided: 1}) {
+	h.x.SetCordon(1_000*second, "s-3", true, 1)
+	h.x.SetCordon(1_000*second, "s-3", true, 2)
+	h.x.SetCordon(1_000*second, "s-4", true, 3)
+	h.x.SetCordon(1_000*second, "s-4", false, 4)
+	if f := h.x.Statistics(1_000 * second); f != (Statistics{ListedEndpoints: 60, AvoidedEndpoints: 1}) {
 		t.Errorf("%+v", f)
 	}
 }
--- a/internal/engine/clients.go
+++ b/internal/engine/clients.go
@@ -9,8 +9,8 @@
 // Client is whose requests are shared out together, and whose ids must differ while they are open. It belongs to its
 // engine.
 type Client struct {
-	account *fairqueue.Client
-	ids     map[string]*Call // owned by the engine
+	account   *fairqueue.Client
+	openCalls map[string]*Call // owned by the engine
 }
 
 // NewClient returns a client, or the error of a spec that makes no sense.
@@ -19,24 +19,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{account: account, ids: map[string]*Call{}}, nil
+	return &Client{account: account, openCalls: map[string]*Call{}}, nil
 }
 
 // Open returns how many of the client's calls are not forgotten yet.
-func (c *Client) Open() int { return len(c.ids) }
+func (c *Client) OpenCalls() int { return len(c.openCalls) }
 
 // Change gives a client another spec, or returns the error of one that makes no sense; what it has open stays open.
-func (c *Client) Change(s fairqueue.ClientSpec) error { return c.account.Update(s) }
+func (c *Client) SetSpec(s fairqueue.ClientSpec) error { return c.account.Update(s) }
 
 // Sharing says how many requests may go on together.
-type Sharing struct {
-	Slots    int                   // in flight at once in each pool; 0 is no bound. With Adaptive it is not used
-	Open     int                   // in flight and waiting, in all pools together; 0 is no bound
-	Adaptive *concurrency.Settings // learns how many may be in flight in each pool; its Classes are filled in
+type ConcurrencySettings struct {
+	MaxInFlight int                   // in flight at once in each pool; 0 is no bound. With Adaptive it is not used
+	MaxOpen     int                   // in flight and waiting, in all pools together; 0 is no bound
+	Adaptive    *concurrency.Settings // learns how many may be in flight in each pool; its Classes are filled in
 }
 
 // share makes the decisions between clients.
-func (p *Pool) share(s Sharing, seed uint64) error {
+func (p *Pool) initConcurrency(s ConcurrencySettings, seed uint64) error {
 	expect := make([]monotime.Micros, len(p.engine.config.Site.Settings.Classes))
 	for i, class := range p.engine.config.Site.Settings.Classes {
 		expect[i] = class.Aim / 5 // as the balancer's own first guess
@@ -45,84 +45,84 @@
 		l := *s.Adaptive
 		l.Classes, l.Seed = len(expect), seed
 		var err error
-		if p.limit, err = concurrency.New(l); err != nil {
+		if p.concurrency, err = concurrency.New(l); err != nil {
 			return err
 		}
-		s.Slots = p.limit.Limit()
+		s.MaxInFlight = p.concurrency.Limit()
 	}
-	p.shares = fairqueue.New(fairqueue.Settings{InitialTimes: expect, MaxInFlight: s.Slots, Shared: p.engine.total})
+	p.queue = fairqueue.New(fairqueue.Settings{InitialTimes: expect, MaxInFlight: s.MaxInFlight, Shared: p.engine.openTotal})
 	return nil
 }
 
 // offer asks whether a call may go on. What the decision is shows in pump.
-func (p *Pool) offer(now monotime.Micros, c *Call) {
-	if p.limited(now, c) || p.turnsAway(now, c) {
+func (p *Pool) enqueue(now monotime.Micros, c *Call) {
+	if p.rejectOverLimit(now, c) || p.shed(now, c) {
 		return
 	}
-	class := &p.engine.config.Site.Settings.Classes[c.In.Class]
-	until := c.In.Deadline
+	class := &p.engine.config.Site.Settings.Classes[c.Request.Class]
+	until := c.Request.Deadline
 	if class.LateWorth == 0 {
-		until = min(until, c.Arrived+class.Aim)
+		until = min(until, c.ArrivedAt+class.Aim)
 	}
-	p.shares.Enqueue(now, c.Client.account, fairqueue.Request{ID: c.In.ID, Class: int(c.In.Class), Deadline: until, MaxWaitFraction: p.balancer.Patience(now, c.In)})
-	p.engine.touch(p)
+	p.queue.Enqueue(now, c.Client.account, fairqueue.Request{ID: c.Request.ID, Class: int(c.Request.Class), Deadline: until, MaxWaitFraction: p.balancer.Patience(now, c.Request)})
+	p.engine.markDirty(p)
 }
 
 // touch notes that decisions between a pool's clients may have become due.
-func (x *Engine) touch(p *Pool) {
-	if !p.touched {
-		p.touched = true
-		x.touched = append(x.touched, p)
+func (x *Engine) markDirty(p *Pool) {
+	if !p.dirty {
+		p.dirty = true
+		x.dirtyPools = append(x.dirtyPools, p)
 	}
 }
 
 // pump carries out the decisions between clients that have become due. It is called once after each event and
 // never from within one: what it does may free a place, which its next turn sees.
-func (x *Engine) pump(now monotime.Micros) {
-	for len(x.touched) > 0 {
-		p := x.touched[len(x.touched)-1]
-		x.touched = x.touched[:len(x.touched)-1]
-		p.touched = false
-		p.pump(now)
+func (x *Engine) dispatchQueued(now monotime.Micros) {
+	for len(x.dirtyPools) > 0 {
+		p := x.dirtyPools[len(x.dirtyPools)-1]
+		x.dirtyPools = x.dirtyPools[:len(x.dirtyPools)-1]
+		p.dirty = false
+		p.dispatchQueued(now)
 	}
 }
 
-func (p *Pool) pump(now monotime.Micros) {
+func (p *Pool) dispatchQueued(now monotime.Micros) {
 	x := p.engine
-	if p.limit != nil {
-		p.shares.SetMaxInFlight(p.limit.Limit())
+	if p.concurrency != nil {
+		p.queue.SetMaxInFlight(p.concurrency.Limit())
 	}
 	for {
-		d, ok := p.shares.Next(now)
+		d, ok := p.queue.Next(now)
 		if !ok {
 			break
 		}
 		c := x.calls[d.ID]
 		if d.Action == fairqueue.Reject {
-			x.finish(c, x.turnedAway(d))
+			x.respond(c, x.rejection(d))
 			continue
 		}
-		_, inFlight := p.shares.Counts()
-		c.admitted, c.inFlight, c.In.Waited = now, inFlight, now-c.Arrived
-		p.balancer.Request(now, c.In)
+		_, inFlight := p.queue.Counts()
+		c.admittedAt, c.inFlightAtAdmission, c.Request.Waited = now, inFlight, now-c.ArrivedAt
+		p.balancer.Request(now, c.Request)
 	}
 	// Whoever waits is looked at again when no answer could be in time any more.
-	if at := p.shares.NextExpiry(); at != p.wakeAt {
-		x.callOff(p.wake)
-		if p.wake, p.wakeAt = nil, at; at != 0 {
-			p.wake = x.at(at, func(monotime.Micros) {
-				p.wakeAt = 0
-				x.touch(p)
+	if at := p.queue.NextExpiry(); at != p.queueTimerDue {
+		x.cancelTimer(p.queueTimer)
+		if p.queueTimer, p.queueTimerDue = nil, at; at != 0 {
+			p.queueTimer = x.schedule(at, func(monotime.Micros) {
+				p.queueTimerDue = 0
+				x.markDirty(p)
 			})
 		}
 	}
 }
 
 // turnedAway is the answer to a request that is not admitted.
-func (x *Engine) turnedAway(d fairqueue.Decision) Answer {
-	a := Answer{Verdict: Refused, Reason: d.Reason.String()}
+func (x *Engine) rejection(d fairqueue.Decision) Response {
+	a := Response{Verdict: Rejected, Reason: d.Reason.String()}
 	if d.Reason == fairqueue.ClientOverRate {
-		a.Verdict = Limited
+		a.Verdict = RateLimited
 	}
 	limits := &x.config.Site.Settings.Limits
 	if limits.RetryAfter && d.RetryAfter > 0 {
@@ -134,25 +134,25 @@
 }
 
 // learn takes in what a request that was served tells of how long such take.
-func (p *Pool) learn(now monotime.Micros, c *Call) {
-	took := now - c.admitted
-	p.shares.ObserveServiceTime(int(c.In.Class), took)
-	if p.limit != nil {
-		waiting, _ := p.shares.Counts()
-		p.limit.AddSample(now, int(c.In.Class), took, c.inFlight, waiting > 0 || c.admitted > c.Arrived+waitedLeast)
+func (p *Pool) observeServiceTime(now monotime.Micros, c *Call) {
+	took := now - c.admittedAt
+	p.queue.ObserveServiceTime(int(c.Request.Class), took)
+	if p.concurrency != nil {
+		waiting, _ := p.queue.Counts()
+		p.concurrency.AddSample(now, int(c.Request.Class), took, c.inFlightAtAdmission, waiting > 0 || c.admittedAt > c.ArrivedAt+minQueueTime)
 	}
 }
 
 // waitedLeast is how long a request must have been on its way to the balancer to count as one that waited for its
 // turn: less is the way from its front.
-const waitedLeast = 1000
+const minQueueTime = 1000
 
 // Counts returns how many of the pool's requests wait and are in flight, and how many may be (0 is no bound that is
 // learned).
 func (p *Pool) Counts() (waiting, inFlight, slots int) {
-	waiting, inFlight = p.shares.Counts()
-	if p.limit != nil {
-		slots = p.limit.Limit()
+	waiting, inFlight = p.queue.Counts()
+	if p.concurrency != nil {
+		slots = p.concurrency.Limit()
 	}
 	return waiting, inFlight, slots
 }
--- a/internal/engine/order_test.go
+++ b/internal/engine/order_test.go
@@ -19,7 +19,7 @@
 		all := map[string]int{}
 		for range n {
 			c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
-			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(now), Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 500_000}})
+			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(now), ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 500_000}})
 			for len(h.started) > 0 {
 				a := h.started[0]
 				h.started = h.started[1:]
@@ -27,19 +27,19 @@
 				if !a.Endpoint.MaySend(now) {
 					t.Errorf("%s is picked, and may not be sent to", a.Endpoint.Name)
 				}
-				x.Ended(now+20_000, a, Reply{Status: balancer.OK, At: now + 20_000})
+				x.AttemptEnded(now+20_000, a, AttemptResult{Status: balancer.OK, At: now + 20_000})
 			}
 			now += 50_000
 			run(x, now)
 		}
 		return all
 	}
-	x.Order(now, Orders{Wait: true})
+	x.ApplyMaintenancePlan(now, MaintenancePlan{AwaitingPlan: true})
 	if got := sent(20); len(got) != 0 {
 		t.Errorf("before an order is heard: %v", got)
 	}
 	until := now + 10*second
-	x.Order(now, Orders{Stop: []string{"e0"}, Ahead: []string{"e1"}, Until: until, End: until + second})
+	x.ApplyMaintenancePlan(now, MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"}, LeaseEnd: until, DrainDeadline: until + second})
 	if got := sent(60); got["e0"] != 0 || got["e1"]+got["e2"] < 50 {
 		t.Errorf("with one out and one ahead: %v", got)
 	}
@@ -53,9 +53,9 @@
 	if got := sent(60); got["e0"]+got["e1"] != 0 || got["e2"] == 0 {
 		t.Errorf("once it holds no more: %v", got)
 	}
-	x.Order(now, Orders{Ahead: []string{"e1"}, Until: now + 2*second, End: now + 3*second})
+	x.ApplyMaintenancePlan(now, MaintenancePlan{Announced: []string{"e1"}, LeaseEnd: now + 2*second, DrainDeadline: now + 3*second})
 	c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
-	call := &Call{Client: c, Pool: p, ID: "open", Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
+	call := &Call{Client: c, Pool: p, ID: "open", ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
 	for range 200 { // until one goes to it
 		x.Submit(now, call)
 		if len(h.started) > 0 && h.started[0].Endpoint.Name == "e1" {
@@ -64,13 +64,13 @@
 		h.served(x, now+20_000)
 		now += 5_000
 		c, _ = NewClient(fairqueue.ClientSpec{Weight: 1})
-		call = &Call{Client: c, Pool: p, ID: "open", Arrived: now, In: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
+		call = &Call{Client: c, Pool: p, ID: "open", ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
 	}
-	if x.Open([]string{"e1"})["e1"] != 1 {
-		t.Fatalf("nothing is open at e1: %v", x.Open([]string{"e0", "e1", "e2"}))
+	if x.OpenAttempts([]string{"e1"})["e1"] != 1 {
+		t.Fatalf("nothing is open at e1: %v", x.OpenAttempts([]string{"e0", "e1", "e2"}))
 	}
 	run(x, now+4*second)
-	if n := x.Open([]string{"e1"})["e1"]; n != 0 {
+	if n := x.OpenAttempts([]string{"e1"})["e1"]; n != 0 {
 		t.Errorf("%d are open there long after the order", n)
 	}
 }
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -7,19 +7,19 @@
 )
 
 // loaded is a pool whose instance bounds what it adds to the load of endpoints that others load, too (package overload).
-type loaded struct {
-	control  *overload.Controller
-	bounds   balancer.Bounds // the balancer's, kept up to date
-	decided  overload.Bounds // the same, as decided
-	told     overload.Reason // in the log
-	toldAt   monotime.Micros
-	shed     uint64 // requests turned away by the level
-	keptIn   uint64 // probes that the budget did not let out
-	inflight int    // places of figures in a load report; -1 is that it has none
-	served   int
+type overloadState struct {
+	control          *overload.Controller
+	bounds           balancer.Bounds // the balancer's, kept up to date
+	decided          overload.Bounds // the same, as decided
+	loggedReason     overload.Reason // in the log
+	loggedAt         monotime.Micros
+	shedRequests     uint64 // requests turned away by the level
+	suppressedProbes uint64 // probes that the budget did not let out
+	inFlightField    int    // places of figures in a load report; -1 is that it has none
+	servedField      int
 }
 
-func (p *Pool) bound(s overload.Settings, seed uint64) error {
+func (p *Pool) initOverload(s overload.Settings, seed uint64) error {
 	site := &p.engine.config.Site.Settings
 	s.Seed, s.OverShareWeight = seed, site.OverShareWorth
 	s.Goal = overload.Goal{Overall: site.Goal.Whole + site.Goal.WorstWindow + site.Goal.WorstTenant, WorstClass: site.Goal.WorstClass}
@@ -33,59 +33,59 @@
 	if err != nil {
 		return err
 	}
-	l := &loaded{control: control, inflight: -1, served: -1}
+	l := &overloadState{control: control, inFlightField: -1, servedField: -1}
 	for i, f := range p.engine.config.Site.Settings.Fields {
 		switch f {
 		case balancer.FieldInflight:
-			l.inflight = i
+			l.inFlightField = i
 		case balancer.FieldServed:
-			l.served = i
+			l.servedField = i
 		}
 	}
-	p.loaded = l
-	p.rebound(0)
+	p.overload = l
+	p.refreshBounds(0)
 	p.balancer.Bound(&l.bounds)
 	return nil
 }
 
 // rebound brings the balancer's bounds up to date.
-func (p *Pool) rebound(now monotime.Micros) {
-	l := p.loaded
+func (p *Pool) refreshBounds(now monotime.Micros) {
+	l := p.overload
 	b := l.control.Bounds(now)
 	l.bounds = balancer.Bounds{Admit: b.AdmitRatio, Excess: b.ExcessAdmitRatio, Inside: b.WithinShareRatio, Again: b.RepeatAdmitRatio, Waits: b.QueueWaitFraction, First: b.FloorQueueWaitFraction,
-		Floor: b.FloorRatio, PassEvery: b.ForcedAdmitInterval, Further: b.RetryAllowed || p.lendsFurther(now), Probes: b.ProbeRate}
+		Floor: b.FloorRatio, PassEvery: b.ForcedAdmitInterval, Further: b.RetryAllowed || p.hasRetryQuota(now), Probes: b.ProbeRate}
 	l.decided = b
-	if b.Reason != l.told && now-l.toldAt >= second {
-		l.told, l.toldAt = b.Reason, now
+	if b.Reason != l.loggedReason && now-l.loggedAt >= second {
+		l.loggedReason, l.loggedAt = b.Reason, now
 		p.engine.config.Host.Log("overload", "pool", p.name, "reason", b.Reason.String(), "load", b.Load, "let", b.AdmittedRatio, "level", b.Level)
 	}
 }
 
 // turnsAway answers a request that the overload leaves no room for, and says whether it did.
-func (p *Pool) turnsAway(now monotime.Micros, c *Call) bool {
-	l := p.loaded
+func (p *Pool) shed(now monotime.Micros, c *Call) bool {
+	l := p.overload
 	if l == nil {
 		return false
 	}
 	tenant := -1
-	if int(c.In.Tenant) < len(p.engine.config.Site.Settings.Tenants) {
-		tenant = int(c.In.Tenant)
+	if int(c.Request.Tenant) < len(p.engine.config.Site.Settings.Tenants) {
+		tenant = int(c.Request.Tenant)
 	}
-	l.control.OnRequest(now, int(c.In.Class), tenant, c.In.Retry)
-	p.rebound(now)
-	after, yes := p.balancer.TurnsAway(c.In)
+	l.control.OnRequest(now, int(c.Request.Class), tenant, c.Request.Retry)
+	p.refreshBounds(now)
+	after, yes := p.balancer.TurnsAway(c.Request)
 	if yes {
-		l.shed++
-		l.control.OnRejected(now, int(c.In.Class), false)
-		p.turnedAway(now)
-		p.engine.finish(c, Answer{Verdict: Refused, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
+		l.shedRequests++
+		l.control.OnRejected(now, int(c.Request.Class), false)
+		p.observeRejection(now)
+		p.engine.respond(c, Response{Verdict: Rejected, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
 	}
 	return yes
 }
 
 // attemptEnded tells the control how an attempt ended.
-func (p *Pool) attemptEnded(now monotime.Micros, a *Attempt, r Reply, took monotime.Micros) {
-	l := p.loaded
+func (p *Pool) observeAttempt(now monotime.Micros, a *Attempt, r AttemptResult, took monotime.Micros) {
+	l := p.overload
 	if l == nil {
 		return
 	}
@@ -98,45 +98,45 @@
 	case balancer.Cancelled, balancer.Moot:
 		how = overload.Cancelled
 	}
-	l.control.OnAttemptEnded(now, int(a.Call.In.Class), a.Number == 0, how, took)
-	l.reported(now, r.Load)
-	p.wantsFurther(now, a, r.Status)
-	p.rebound(now)
+	l.control.OnAttemptEnded(now, int(a.Call.Request.Class), a.Number == 0, how, took)
+	l.observeLoad(now, r.Load)
+	p.requestRetryQuota(now, a, r.Status)
+	p.refreshBounds(now)
 }
 
 // reported tells the control what an endpoint says of its load.
-func (l *loaded) reported(now monotime.Micros, load []float32) {
-	if l.inflight >= 0 && l.served >= 0 && max(l.inflight, l.served) < len(load) {
-		l.control.OnLoadReport(now, overload.LoadReport{InFlight: float64(load[l.inflight]), ServedRate: float64(load[l.served])})
+func (l *overloadState) observeLoad(now monotime.Micros, load []float32) {
+	if l.inFlightField >= 0 && l.servedField >= 0 && max(l.inFlightField, l.servedField) < len(load) {
+		l.control.OnLoadReport(now, overload.LoadReport{InFlight: float64(load[l.inFlightField]), ServedRate: float64(load[l.servedField])})
 	}
 }
 
 // probed tells the control what a probe's answer says.
-func (p *Pool) probed(now monotime.Micros, r *Reply) {
-	if p.loaded != nil && r.Status == balancer.OK {
-		p.loaded.reported(now, r.Load)
-		p.rebound(now)
+func (p *Pool) observeProbe(now monotime.Micros, r *AttemptResult) {
+	if p.overload != nil && r.Status == balancer.OK {
+		p.overload.observeLoad(now, r.Load)
+		p.refreshBounds(now)
 	}
 }
 
 // counted tells the control how many endpoints the fleet shares: all that are listed, also where this instance deals with a part.
-func (p *Pool) counted() {
-	if p.loaded == nil {
+func (p *Pool) updateEndpointCount() {
+	if p.overload == nil {
 		return
 	}
 	n := 0
-	if p.narrowed != nil {
-		for name, m := range p.narrowed.whole {
-			if m.State == balancer.Ready && !p.engine.bans.Out(name) {
+	if p.subset != nil {
+		for name, m := range p.subset.endpoints {
+			if m.State == balancer.Ready && !p.engine.cordons.Out(name) {
 				n++
 			}
 		}
 	} else {
 		for _, e := range p.byName {
-			if e.state == balancer.Ready && !e.banned {
+			if e.state == balancer.Ready && !e.excluded {
 				n++
 			}
 		}
 	}
-	p.loaded.control.SetEndpointCount(n)
+	p.overload.control.SetEndpointCount(n)
 }
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -15,10 +15,10 @@
 	o := overload.DefaultSettings()
 	o.Instances = 60
 	var err error
-	if h.p, err = h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Known: Told{Generation: 1, Members: list}, Watch: func(bool) {}}); err != nil {
+	if h.p, err = h.x.NewPool(PoolConfig{Name: "o", Overload: &o, InitialEndpoints: EndpointUpdate{Generation: 1, Endpoints: list}, Watch: func(bool) {}}); err != nil {
 		t.Fatal(err)
 	}
-	h.p.Begin(1_000 * second)
+	h.p.Start(1_000 * second)
 	for _, m := range list {
 		h.fails[m.Name] = true
 	}
@@ -31,13 +31,13 @@
 	if sent > 300 || h.probes > 14 {
 		t.Errorf("%d attempts for 300 requests, %d probes in 7 s", sent, h.probes)
 	}
-	if n := h.answered[Refused] + h.answered[Failed] + h.answered[FailedLate]; n != 300 || h.x.Calls() != 0 {
+	if n := h.answered[Rejected] + h.answered[Failed] + h.answered[TimedOut]; n != 300 || h.x.Calls() != 0 {
 		t.Errorf("%d of 300 are answered, %d are open: %v", n, h.x.Calls(), h.answered)
 	}
-	if b := h.p.loaded.decided; b.RetryAllowed || b.Reason == overload.None {
+	if b := h.p.overload.decided; b.RetryAllowed || b.Reason == overload.None {
 		t.Errorf("bounds %+v", b)
 	}
-	if f := h.x.Figures(now); !f.Bounded || f.KeptIn == 0 || f.Level > 1 {
+	if f := h.x.Statistics(now); !f.OverloadControlled || f.SuppressedProbes == 0 || f.OverloadLevel > 1 {
 		t.Errorf("figures %+v", f)
 	}
 	h.fails, h.answered = map[string]bool{}, map[Verdict]int{}
@@ -45,7 +45,7 @@
 	if h.answered[Served] < 900 {
 		t.Errorf("once endpoints serve again: %v", h.answered)
 	}
-	if b := h.p.loaded.decided; b.Reason != overload.None || b.Level < 0.9 {
+	if b := h.p.overload.decided; b.Reason != overload.None || b.Level < 0.9 {
 		t.Errorf("bounds %+v", b)
 	}
 }
@@ -56,25 +56,25 @@
 	o := overload.DefaultSettings()
 	o.Instances = 60
 	pool := func() *Pool {
-		p, err := h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Known: Told{Generation: 1, Members: list}, Watch: func(bool) {}})
+		p, err := h.x.NewPool(PoolConfig{Name: "o", Overload: &o, InitialEndpoints: EndpointUpdate{Generation: 1, Endpoints: list}, Watch: func(bool) {}})
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.Begin(1_000 * second)
+		p.Start(1_000 * second)
 		return p
 	}
 	h.p = pool()
 	now := h.run(c, 1_000*second, 10, second/50)
 	const had = 0.37
-	h.p.loaded.control.RestoreLevel(had)
+	h.p.overload.control.RestoreLevel(had)
 	s := h.x.Snapshot(now)
 	h.x.pools = nil
 	next := pool()
 	h.x.Restore(now, 0, s)
-	if level := next.loaded.control.Level(); level != had {
+	if level := next.overload.control.Level(); level != had {
 		t.Errorf("the level was %v, and is %v after the takeover", had, level)
 	}
-	if b := next.loaded.control.Bounds(now); b.RetryAllowed {
+	if b := next.overload.control.Bounds(now); b.RetryAllowed {
 		t.Error("a further attempt without anything accepted")
 	}
 }
@@ -86,18 +86,18 @@
 		o := overload.DefaultSettings()
 		o.Instances = 600
 		var err error
-		h.p, err = h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Subset: part, RetryShare: 0.01, Known: Told{Generation: 1, Members: list}, Watch: func(bool) {}})
+		h.p, err = h.x.NewPool(PoolConfig{Name: "o", Overload: &o, Subset: part, RetryShare: 0.01, InitialEndpoints: EndpointUpdate{Generation: 1, Endpoints: list}, Watch: func(bool) {}})
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.p.Begin(1_000 * second)
+		h.p.Start(1_000 * second)
 		// A probe a second at each of sixty, over six hundred instances, by one that is served nothing.
-		least := func() float64 { return h.p.loaded.control.Bounds(1_000 * second).ProbeRate }
+		least := func() float64 { return h.p.overload.control.Bounds(1_000 * second).ProbeRate }
 		if got := least(); got < 0.099 || got > 0.101 {
 			t.Errorf("subset %v: %v probes a second", part != nil, got)
 		}
 		for i := range 30 {
-			h.x.ByHand(1_000*second, list[i].Name, true, 1)
+			h.x.SetCordon(1_000*second, list[i].Name, true, 1)
 		}
 		if got := least(); got < 0.049 || got > 0.051 {
 			t.Errorf("subset %v, half out by hand: %v probes a second", part != nil, got)
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -137,13 +137,13 @@
 // goldenEngine is an engine with all that a snapshot holds: tenants, an overload level, a limit that is learned, a part in a fleet.
 func goldenEngine(t *testing.T) (*Engine, *Pool, *carrier) {
 	t.Helper()
-	h := &carrier{answers: map[string]Answer{}}
+	h := &carrier{answers: map[string]Response{}}
 	s := tenantSite(10, 1, 0)
 	s.Settings.Fields = []balancer.Field{balancer.FieldInflight, balancer.FieldServed, balancer.FieldUtil}
 	s.Settings.Contract.RampTime = 20 * second
-	x := New(Config{Site: s, Seed: 3, Host: h, Sharing: Sharing{Open: 1000, Adaptive: &concurrency.Settings{Min: 1, Max: 200, Initial: 20}}})
-	uses := Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}
-	err := x.Join(Together{Uses: uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 },
+	x := New(Config{Site: s, Seed: 3, Host: h, Concurrency: ConcurrencySettings{MaxOpen: 1000, Adaptive: &concurrency.Settings{Min: 1, Max: 200, Initial: 20}}})
+	uses := CoordinationScope{Retries: true, Probes: true, TenantLimits: true, OverloadLevel: true, SuspectedEndpoints: true}
+	err := x.JoinFleet(Coordination{Scope: uses, Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 7 },
 		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
 			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 	if err != nil {
@@ -151,50 +151,50 @@
 	}
 	o := overload.DefaultSettings()
 	o.Instances = 1
-	p, err := x.NewPool(PoolConfig{Name: "front", Source: "test", Known: Told{Generation: -1}, Watch: func(bool) {}, Overload: &o})
+	p, err := x.NewPool(PoolConfig{Name: "front", Source: "test", InitialEndpoints: EndpointUpdate{Generation: -1}, Watch: func(bool) {}, Overload: &o})
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.Begin(0)
+	p.Start(0)
 	return x, p, h
 }
 
 // goldenRun has the engine serve requests for a while, some of which fail, and returns when that is over.
 func goldenRun(t *testing.T, x *Engine, p *Pool, h *carrier) monotime.Micros {
 	t.Helper()
-	var list []Member
+	var list []EndpointInfo
 	for i := range 4 {
-		list = append(list, Member{Name: fmt.Sprint("e", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z", Kind: "k", Cell: uint16(i), Weight: 1})
+		list = append(list, EndpointInfo{Name: fmt.Sprint("e", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z", Kind: "k", Cell: uint16(i), Weight: 1})
 	}
-	p.Members(0, Told{Kind: balancer.ListFull, Generation: 1, Members: list})
-	x.BeginFleet(0)
+	p.UpdateEndpoints(0, EndpointUpdate{Kind: balancer.ListFull, Generation: 1, Endpoints: list})
+	x.StartCoordination(0)
 	now := monotime.Micros(0)
 	for i := range 3000 {
 		now += second / 100
 		run(x, now)
 		if i == 2900 { // one that is still warming up when the snapshot is taken
-			p.Members(now, Told{Kind: balancer.ListDelta, Generation: 2,
-				Members: []Member{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, Started: now}}})
+			p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListDelta, Generation: 2,
+				Endpoints: []EndpointInfo{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, StartedAt: now}}})
 		}
 		c, err := NewClient(fairqueue.ClientSpec{Weight: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
-		x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(i), Arrived: now,
-			In: balancer.Request{Class: uint8(i % 2), Tenant: uint16(i % 3 % 2), Deadline: now + 500_000}})
+		x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(i), ArrivedAt: now,
+			Request: balancer.Request{Class: uint8(i % 2), Tenant: uint16(i % 3 % 2), Deadline: now + 500_000}})
 		for n := 0; len(h.started) > 0; n++ {
 			a := h.started[0]
 			h.started = slices.Delete(h.started, 0, 1)
-			reply := Reply{Status: balancer.OK, At: now + 3000 + monotime.Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
+			reply := AttemptResult{Status: balancer.OK, At: now + 3000 + monotime.Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
 			if a.Endpoint.Name == "e1" && i%4 != 0 {
 				reply.Status = balancer.Error
 			}
-			x.Ended(reply.At, a, reply)
+			x.AttemptEnded(reply.At, a, reply)
 		}
 	}
 	now += second / 100
 	run(x, now)
-	if _, known := x.ByHand(now, "e3", true, now); !known {
+	if _, known := x.SetCordon(now, "e3", true, now); !known {
 		t.Fatal("e3 is not known")
 	}
 	return now
@@ -205,8 +205,8 @@
 	x, p, h := goldenEngine(t)
 	now := goldenRun(t, x, p, h)
 	s := x.Snapshot(now)
-	s.Fleet = x.GiveFleet(now)
-	s.Order = &Orders{Stop: []string{"e0"}, Ahead: []string{"e1"}, Until: now + second, End: now + 2*second}
+	s.Fleet = x.HandOverCoordination(now)
+	s.Maintenance = &MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"}, LeaseEnd: now + second, DrainDeadline: now + 2*second}
 	return s, now
 }
 
@@ -228,8 +228,8 @@
 		t.Errorf("passed over: %q", passedOver)
 	}
 	again := x.Snapshot(now + 1000)
-	again.Fleet = x.GiveFleet(now + 1000)
-	again.Order = s.Order
+	again.Fleet = x.HandOverCoordination(now + 1000)
+	again.Maintenance = s.Maintenance
 	if got, want := encodeSnapshot(t, again), golden(t, "snapshot-restored.json"); !bytes.Equal(got, want) {
 		t.Errorf("written as\n%s\nwant\n%s", got, want)
 	}
@@ -253,7 +253,7 @@
 		{balancer.Class{Name: "{\n%v", Worth: 1e20, LateWorth: 0.0001},
 			"{Name:{\n%v Repeat:0 Group:0 Window:0 Aim:0 GiveUp:0 Worth:1e+20 LateWorth:0.0001 Stream:false}"},
 	} {
-		if got := classMeaning(&c.class); got != c.want {
+		if got := classFingerprint(&c.class); got != c.want {
 			t.Errorf("%q, want %q", got, c.want)
 		}
 	}
@@ -270,7 +270,7 @@
 		{balancer.Tenant{Name: "two words", Allowance: 1e21, Share: 1.0 / 3},
 			"{Name:two words Allowance:1e+21 Share:0.3333333333333333}"},
 	} {
-		if got := tenantMeaning(&c.tenant); got != c.want {
+		if got := tenantFingerprint(&c.tenant); got != c.want {
 			t.Errorf("%q, want %q", got, c.want)
 		}
 	}
@@ -278,7 +278,7 @@
 
 // A field that is added to a class or a tenant belongs into its stored form.
 func TestMeaningHasAllFields(t *testing.T) {
-	for form, v := range map[string]any{classForm: balancer.Class{}, tenantForm: balancer.Tenant{}} {
+	for form, v := range map[string]any{classFingerprintFormat: balancer.Class{}, tenantFingerprintFormat: balancer.Tenant{}} {
 		if written, fields := strings.Count(form, "%v"), reflect.TypeOf(v).NumField(); written != fields {
 			t.Errorf("%T: %d of %d fields are written", v, written, fields)
 		}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -25,38 +25,38 @@
 
 func (nothing) Drop() {}
 
-func (h *host) Target(string) Target { return nothing{} }
-func (h *host) Start(a *Attempt) {
+func (h *host) NewTarget(string) Target { return nothing{} }
+func (h *host) StartAttempt(a *Attempt) {
 	h.to[a.Endpoint.Name]++
 	status := balancer.OK
 	if h.fails[a.Endpoint.Name] {
 		status = balancer.Error
 	}
-	h.x.at(a.Sent+20_000, func(now monotime.Micros) { h.x.outcome(now, a, Reply{Status: status, At: now}) })
+	h.x.schedule(a.StartedAt+20_000, func(now monotime.Micros) { h.x.recordOutcome(now, a, AttemptResult{Status: status, At: now}) })
 }
-func (h *host) Shut(*Attempt) bool { return false }
-func (h *host) Withdraw(*Attempt)  {}
-func (h *host) Silent(*Attempt)    {}
-func (h *host) Probe(p *Pool, e *Endpoint) {
+func (h *host) CancelUnsent(*Attempt) bool { return false }
+func (h *host) AbortAttempt(*Attempt)      {}
+func (h *host) AttemptTimedOut(*Attempt)   {}
+func (h *host) StartProbe(p *Pool, e *Endpoint) {
 	h.probes++
 	sent := h.x.now
-	h.x.at(sent+1000, func(now monotime.Micros) {
+	h.x.schedule(sent+1000, func(now monotime.Micros) {
 		p.balancer.Probed(now, e.Number, balancer.OK, now-sent, []float32{1})
 	})
 }
-func (h *host) Answer(_ *Call, a Answer) { h.answered[a.Verdict]++ }
-func (h *host) Ready()                   {}
-func (h *host) Log(string, ...any)       {}
-func (h *host) Warn(string, ...any)      {}
+func (h *host) Respond(_ *Call, a Response) { h.answered[a.Verdict]++ }
+func (h *host) EndpointReady()              {}
+func (h *host) Log(string, ...any)          {}
+func (h *host) Warn(string, ...any)         {}
 
 // quiet is an instance of a fleet of 5,000 that deals with four of sixty endpoints.
-func quiet(t testing.TB, probes float64) (*host, *Client, []Member) {
+func quiet(t testing.TB, probes float64) (*host, *Client, []EndpointInfo) {
 	t.Helper()
 	return instance(t, &subset.Settings{Position: 77, Instances: 5000, MinMembers: 4, EndpointProbes: probes})
 }
 
 // instance is one that deals with a part of sixty endpoints, or with all.
-func instance(t testing.TB, part *subset.Settings) (*host, *Client, []Member) {
+func instance(t testing.TB, part *subset.Settings) (*host, *Client, []EndpointInfo) {
 	t.Helper()
 	s := balancer.Settings{Balancers: 5000, Zones: 1, Fields: []balancer.Field{balancer.FieldInflight},
 		Classes: []balancer.Class{{Name: "look", Aim: 200_000, GiveUp: 500_000, Worth: 1}},
@@ -65,17 +65,17 @@
 			OverloadFor: 2 * second, AskWithin: 10 * second}, Goal: balancer.Goal{Whole: 1}}
 	h := &host{fails: map[string]bool{}, to: map[string]int{}, answered: map[Verdict]int{}}
 	h.x = New(Config{Site: &siteconfig.Site{Settings: s, Classes: []string{"look"}, Zones: []string{"a"}}, Seed: 5, Host: h})
-	var list []Member
+	var list []EndpointInfo
 	for i := range 60 {
-		list = append(list, Member{Name: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Weight: 1})
+		list = append(list, EndpointInfo{Name: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Weight: 1})
 	}
 	var err error
-	h.p, err = h.x.NewPool(PoolConfig{Known: Told{Generation: 1, Members: list}, Watch: func(bool) {},
+	h.p, err = h.x.NewPool(PoolConfig{InitialEndpoints: EndpointUpdate{Generation: 1, Endpoints: list}, Watch: func(bool) {},
 		Subset: part})
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.p.Begin(1_000 * second)
+	h.p.Start(1_000 * second)
 	c, err := NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -94,7 +94,7 @@
 	for i := range n {
 		now += gap
 		advance(now)
-		h.x.Submit(now, &Call{Client: c, Pool: h.p, ID: fmt.Sprint(now, i), In: balancer.Request{Deadline: now + 500_000}, Arrived: now})
+		h.x.Submit(now, &Call{Client: c, Pool: h.p, ID: fmt.Sprint(now, i), Request: balancer.Request{Deadline: now + 500_000}, ArrivedAt: now})
 	}
 	now += second
 	advance(now)
@@ -133,9 +133,9 @@
 	if _, _, widened := h.p.Subset(); widened != 0 {
 		t.Errorf("all are well, and it stays widened %d times", widened)
 	}
-	for name, m := range h.p.list {
-		if m.Started > 1 {
-			t.Errorf("%s counts as started at %d", name, m.Started)
+	for name, m := range h.p.endpointList {
+		if m.StartedAt > 1 {
+			t.Errorf("%s counts as started at %d", name, m.StartedAt)
 		}
 	}
 	h.answered = map[Verdict]int{}
@@ -167,26 +167,26 @@
 	for name := range h.p.byName {
 		gone = name
 	}
-	fresh := Member{Name: "s-new", Addr: "10.0.1.1:80", Zone: "a", Weight: 1}
-	h.p.Members(now, Told{Kind: balancer.ListDelta, Generation: 2, Members: []Member{{Name: gone, State: balancer.Gone}, fresh}})
+	fresh := EndpointInfo{Name: "s-new", Addr: "10.0.1.1:80", Zone: "a", Weight: 1}
+	h.p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListDelta, Generation: 2, Endpoints: []EndpointInfo{{Name: gone, State: balancer.Gone}, fresh}})
 	after, of, _ := h.p.Subset()
 	if of != 60 || h.p.byName[gone] != nil || after < before-1 {
 		t.Errorf("%d of %d members, %d before; the one that is gone is held: %v", after, of, before, h.p.byName[gone] != nil)
 	}
-	if got := h.p.narrowed.whole["s-new"].Started; got != now {
+	if got := h.p.subset.endpoints["s-new"].StartedAt; got != now {
 		t.Errorf("what appeared counts as started at %d, want %d", got, now)
 	}
 	// Another whole list does not make it older, and what was gone and comes back has just started.
-	whole := append(append([]Member{}, list...), fresh)
-	h.p.Members(now+second, Told{Kind: balancer.ListFull, Generation: 3, Members: whole})
-	if got := h.p.narrowed.whole["s-new"].Started; got != now {
+	whole := append(append([]EndpointInfo{}, list...), fresh)
+	h.p.UpdateEndpoints(now+second, EndpointUpdate{Kind: balancer.ListFull, Generation: 3, Endpoints: whole})
+	if got := h.p.subset.endpoints["s-new"].StartedAt; got != now {
 		t.Errorf("after a whole list it counts as started at %d, want %d", got, now)
 	}
-	if got := h.p.narrowed.whole[gone].Started; got != now+second {
+	if got := h.p.subset.endpoints[gone].StartedAt; got != now+second {
 		t.Errorf("what came back counts as started at %d, want %d", got, now+second)
 	}
-	h.p.Members(now+second, Told{Kind: balancer.ListDelta, Generation: 4, Members: []Member{{Name: gone, State: balancer.Gone}}})
-	if n := len(h.x.Snapshot(now).Pools[0].Members); n != len(list) {
+	h.p.UpdateEndpoints(now+second, EndpointUpdate{Kind: balancer.ListDelta, Generation: 4, Endpoints: []EndpointInfo{{Name: gone, State: balancer.Gone}}})
+	if n := len(h.x.Snapshot(now).Pools[0].Endpoints); n != len(list) {
 		t.Errorf("a snapshot with %d of the list", n)
 	}
 }
--- a/internal/engine/together_test.go
+++ b/internal/engine/together_test.go
@@ -19,21 +19,21 @@
 type carrier struct {
 	Host
 	started []*Attempt
-	answers map[string]Answer
+	answers map[string]Response
 }
 
-func (h *carrier) Target(string) Target     { return nowhere{} }
-func (h *carrier) Start(a *Attempt)         { h.started = append(h.started, a) }
-func (h *carrier) Shut(*Attempt) bool       { return false }
-func (h *carrier) Withdraw(*Attempt)        {}
-func (h *carrier) Silent(*Attempt)          {}
-func (h *carrier) Probe(*Pool, *Endpoint)   {}
-func (h *carrier) Answer(c *Call, a Answer) { h.answers[c.ID] = a }
-func (h *carrier) Ready()                   {}
-func (h *carrier) Log(string, ...any)       {}
-func (h *carrier) Warn(string, ...any)      {}
+func (h *carrier) NewTarget(string) Target     { return unknownTarget{} }
+func (h *carrier) StartAttempt(a *Attempt)     { h.started = append(h.started, a) }
+func (h *carrier) CancelUnsent(*Attempt) bool  { return false }
+func (h *carrier) AbortAttempt(*Attempt)       {}
+func (h *carrier) AttemptTimedOut(*Attempt)    {}
+func (h *carrier) StartProbe(*Pool, *Endpoint) {}
+func (h *carrier) Respond(c *Call, a Response) { h.answers[c.ID] = a }
+func (h *carrier) EndpointReady()              {}
+func (h *carrier) Log(string, ...any)          {}
+func (h *carrier) Warn(string, ...any)         {}
 func tenantSite(limit float64, n, place int) *siteconfig.Site {
-	return &siteconfig.Site{Classes: []string{"look", "book"}, Tenants: []string{"t", "free"}, Limits: []float64{limit, 0}, Zones: []string{"z"}, Kinds: []string{"k"},
+	return &siteconfig.Site{Classes: []string{"look", "book"}, Tenants: []string{"t", "free"}, TenantLimits: []float64{limit, 0}, Zones: []string{"z"}, Kinds: []string{"k"},
 		Settings: balancer.Settings{Balancers: n, Position: place, Zones: 1, Kinds: 1, OverShareWorth: 1,
 			Classes:  []balancer.Class{{Name: "look", Aim: 200_000, GiveUp: 500_000, Worth: 1}, {Name: "book", Aim: 200_000, GiveUp: 500_000, Worth: 5}},
 			Tenants:  []balancer.Tenant{{Name: "t", Allowance: 10, Share: 0.5}, {Name: "free", Allowance: 10, Share: 0.5}},
@@ -43,28 +43,28 @@
 }
 
 // fleetOf returns an engine with three endpoints; with uses it is alone in a fleet of one that lends to itself.
-func fleetOf(t testing.TB, s *siteconfig.Site, uses *Uses, o *overload.Settings) (*Engine, *Pool, *carrier) {
+func fleetOf(t testing.TB, s *siteconfig.Site, uses *CoordinationScope, o *overload.Settings) (*Engine, *Pool, *carrier) {
 	t.Helper()
-	h := &carrier{answers: map[string]Answer{}}
-	x := New(Config{Site: s, Seed: 1, Host: h, Sharing: Sharing{Open: 1000}})
+	h := &carrier{answers: map[string]Response{}}
+	x := New(Config{Site: s, Seed: 1, Host: h, Concurrency: ConcurrencySettings{MaxOpen: 1000}})
 	if uses != nil {
-		err := x.Join(Together{Uses: *uses, Tell: func(string, coordination.Word) {}, Lives: func() uint64 { return 7 }, Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
+		err := x.JoinFleet(Coordination{Scope: *uses, Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 7 }, Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
 			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	p, err := x.NewPool(PoolConfig{Known: Told{Generation: -1}, Watch: func(bool) {}, Overload: o})
+	p, err := x.NewPool(PoolConfig{InitialEndpoints: EndpointUpdate{Generation: -1}, Watch: func(bool) {}, Overload: o})
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.Begin(0)
-	var list []Member
+	p.Start(0)
+	var list []EndpointInfo
 	for i := range 3 {
-		list = append(list, Member{Name: fmt.Sprint("e", i), Addr: "a", Zone: "z", Kind: "k", State: balancer.Ready, Weight: 1})
+		list = append(list, EndpointInfo{Name: fmt.Sprint("e", i), Addr: "a", Zone: "z", Kind: "k", State: balancer.Ready, Weight: 1})
 	}
-	p.Members(0, Told{Kind: balancer.ListFull, Generation: 1, Members: list})
-	x.BeginFleet(0)
+	p.UpdateEndpoints(0, EndpointUpdate{Kind: balancer.ListFull, Generation: 1, Endpoints: list})
+	x.StartCoordination(0)
 	return x, p, h
 }
 
@@ -82,7 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.Submit(now, &Call{Client: c, Pool: p, ID: id, Arrived: now, In: balancer.Request{Tenant: tenant, Deadline: now + 500_000}})
+	x.Submit(now, &Call{Client: c, Pool: p, ID: id, ArrivedAt: now, Request: balancer.Request{Tenant: tenant, Deadline: now + 500_000}})
 }
 
 // served serves all that has started, and returns how many that were, and how many of them at e1.
@@ -90,7 +90,7 @@
 	for len(h.started) > 0 {
 		a := h.started[0]
 		h.started = slices.Delete(h.started, 0, 1)
-		x.Ended(now, a, Reply{Status: balancer.OK, At: now})
+		x.AttemptEnded(now, a, AttemptResult{Status: balancer.OK, At: now})
 		all++
 		e1 += map[bool]int{true: 1}[a.Endpoint.Name == "e1"]
 	}
@@ -113,7 +113,7 @@
 			run(x, now)
 		}
 		for id, a := range h.answers {
-			if a.Verdict != Served && (a.Verdict != Limited || a.RetryAfter <= 0 || a.RetryAfter > 400_000 || id[0] == 'f') {
+			if a.Verdict != Served && (a.Verdict != RateLimited || a.RetryAfter <= 0 || a.RetryAfter > 400_000 || id[0] == 'f') {
 				t.Errorf("%s: %+v", id, a)
 			}
 		}
@@ -125,7 +125,7 @@
 
 // What is lent is spent, and what is given away is spent by nobody but who takes it.
 func TestLimitLentAndHandedOver(t *testing.T) {
-	x, p, h := fleetOf(t, tenantSite(10, 1, 0), &Uses{Tenants: true}, nil)
+	x, p, h := fleetOf(t, tenantSite(10, 1, 0), &CoordinationScope{TenantLimits: true}, nil)
 	now := monotime.Micros(20 * second)
 	run(x, now)
 	for i := range 6 {
@@ -134,18 +134,18 @@
 			t.Fatalf("the %d. is refused, of 10 a second: %+v", i+1, mustView(x, now))
 		}
 	}
-	s := x.GiveFleet(now)
+	s := x.HandOverCoordination(now)
 	submit(t, x, p, now, "given", 0)
-	if h.answers["given"].Verdict != Limited {
+	if h.answers["given"].Verdict != RateLimited {
 		t.Error("one is let in by what was given away")
 	}
-	y, q, g := fleetOf(t, tenantSite(10, 1, 0), &Uses{Tenants: true}, nil)
-	y.GiveFleet(0)
-	y.RestoreFleet(now+1000, 1000, s)
+	y, q, g := fleetOf(t, tenantSite(10, 1, 0), &CoordinationScope{TenantLimits: true}, nil)
+	y.HandOverCoordination(0)
+	y.RestoreCoordination(now+1000, 1000, s)
 	limited := 0
 	for i := range 10 {
 		submit(t, y, q, now+1000, fmt.Sprint(i), 0)
-		limited += map[bool]int{true: 1}[g.answers[fmt.Sprint(i)].Verdict == Limited]
+		limited += map[bool]int{true: 1}[g.answers[fmt.Sprint(i)].Verdict == RateLimited]
 	}
 	if allowed := mustView(y, now+1000).Shares[0].Allowed; allowed < 7 || limited != 10-(allowed-6) {
 		t.Errorf("%d of 10 are beyond the limit where 6 of %d were spent a moment ago", limited, allowed)
@@ -159,15 +159,15 @@
 
 // An endpoint that others suspect of failing a class is left out for that class, and not for the other; what is told no more ends.
 func TestSuspects(t *testing.T) {
-	x, p, h := fleetOf(t, tenantSite(0, 100, 0), &Uses{Suspects: true}, nil)
+	x, p, h := fleetOf(t, tenantSite(0, 100, 0), &CoordinationScope{SuspectedEndpoints: true}, nil)
 	now := monotime.Micros(5 * second)
-	x.GiveFleet(now) // it hears nobody but this test
+	x.HandOverCoordination(now) // it hears nobody but this test
 	run(x, now)
 	count := func(class uint8) (part float64) {
 		all, there := 0, 0
 		for i := range 300 {
 			c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
-			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(class, i), Arrived: now, In: balancer.Request{Class: class, Tenant: 1, Deadline: now + 500_000}})
+			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(class, i), ArrivedAt: now, Request: balancer.Request{Class: class, Tenant: 1, Deadline: now + 500_000}})
 			n, e1 := h.served(x, now+20_000)
 			all, there = all+n, there+e1
 			now += 50_000
@@ -177,11 +177,11 @@
 	}
 	count(0)
 	before := count(1)
-	x.told(now, &observations.All{Suspects: []observations.Suspect{{Endpoint: "e1", Class: 1, Chance: 0.95}, {Endpoint: "gone", Class: 0, Chance: 1}}})
+	x.applyObservations(now, &observations.All{Suspects: []observations.Suspect{{Endpoint: "e1", Class: 1, Chance: 0.95}, {Endpoint: "gone", Class: 0, Chance: 1}}})
 	if suspected, other := count(1), count(0); suspected > 0.04 || other < 0.06 { // without probes the one that seems fastest gets most, whichever that is
 		t.Errorf("%.2f go to the one that is suspected, %.2f before, %.2f of the other class", suspected, before, other)
 	}
-	x.told(now, &observations.All{})
+	x.applyObservations(now, &observations.All{})
 	if n := count(1); n < 0.06 {
 		t.Errorf("%.2f go there once nothing is held against it, %.2f before", n, before)
 	}
@@ -191,7 +191,7 @@
 func TestFurtherLent(t *testing.T) {
 	o := overload.DefaultSettings()
 	o.Instances = 1
-	x, p, h := fleetOf(t, tenantSite(0, 1, 0), &Uses{Further: true}, &o)
+	x, p, h := fleetOf(t, tenantSite(0, 1, 0), &CoordinationScope{Retries: true}, &o)
 	further := 0
 	for now := monotime.Micros(0); now < 30*second; now += second / 50 {
 		run(x, now)
@@ -206,7 +206,7 @@
 			if now/20_000%10 == 0 && a.Number == 0 { // one in ten fails once
 				status = balancer.Error
 			}
-			x.Ended(now, a, Reply{Status: status, At: now})
+			x.AttemptEnded(now, a, AttemptResult{Status: status, At: now})
 		}
 	}
 	if further < 80 {
@@ -221,8 +221,8 @@
 func BenchmarkTogether(b *testing.B) {
 	for _, c := range []struct {
 		name string
-		uses *Uses
-	}{{"alone", nil}, {"with others", &Uses{Further: true, Probes: true, Tenants: true, Level: true, Suspects: true}}} {
+		uses *CoordinationScope
+	}{{"alone", nil}, {"with others", &CoordinationScope{Retries: true, Probes: true, TenantLimits: true, OverloadLevel: true, SuspectedEndpoints: true}}} {
 		b.Run(c.name, func(b *testing.B) {
 			o := overload.DefaultSettings()
 			o.Instances = 1
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -127,23 +127,23 @@
 var states = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
 
 // Sent notes that an attempt started.
-func (l *Log) Sent(now monotime.Micros, endpoint string) {
+func (l *Log) AttemptStarted(now monotime.Micros, endpoint string) {
 	l.write(Event{At: now, Kind: Sent, Endpoint: endpoint})
 }
 
 // Ended notes an attempt's outcome.
-func (l *Log) Ended(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
+func (l *Log) AttemptEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Ended, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
 // Probed notes a probe's outcome.
-func (l *Log) Probed(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
+func (l *Log) ProbeEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Probed, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
 // Told notes news of the list, an event for each entry. What a whole list leaves out is the reader's to see.
-func (l *Log) Told(now monotime.Micros, t engine.Told) {
-	for _, m := range t.Members {
+func (l *Log) EndpointsUpdated(now monotime.Micros, t engine.EndpointUpdate) {
+	for _, m := range t.Endpoints {
 		l.write(Event{At: now, Kind: Told, Endpoint: m.Name, Addr: m.Addr, Status: states[m.State]})
 	}
 }
--- a/internal/eventlog/events_test.go
+++ b/internal/eventlog/events_test.go
@@ -15,9 +15,9 @@
 func TestWrittenAndRead(t *testing.T) {
 	var out bytes.Buffer
 	l := NewLog(&out, func() monotime.Micros { return 7 })
-	l.Sent(1, "s 1")
-	l.Ended(2, "s-1", balancer.Reset, 55)
-	l.Told(3, engine.Told{Members: []engine.Member{{Name: "s-2", State: balancer.Gone}}})
+	l.AttemptStarted(1, "s 1")
+	l.AttemptEnded(2, "s-1", balancer.Reset, 55)
+	l.EndpointsUpdated(3, engine.EndpointUpdate{Endpoints: []engine.EndpointInfo{{Name: "s-2", State: balancer.Gone}}})
 	l.Asked(nil)
 	if _, err := l.Dialed("1.2.3.4:5", nil, net.ErrClosed); err == nil {
 		t.Error("the error of a dial was lost")
--- a/internal/eventlog/golden_test.go
+++ b/internal/eventlog/golden_test.go
@@ -46,16 +46,16 @@
 	t.Helper()
 	var out bytes.Buffer
 	l := NewLog(&out, func() monotime.Micros { return 77 })
-	l.Sent(1, "node-1")
-	l.Sent(2, "node with blanks")
+	l.AttemptStarted(1, "node-1")
+	l.AttemptStarted(2, "node with blanks")
 	outcomes := []balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed,
 		balancer.Reset, balancer.Cancelled, balancer.Moot}
 	for i, s := range outcomes {
-		l.Ended(monotime.Micros(10+i), "node-1", s, monotime.Micros(1001+i))
+		l.AttemptEnded(monotime.Micros(10+i), "node-1", s, monotime.Micros(1001+i))
 	}
-	l.Probed(20, "node-2", balancer.OK, 55)
-	l.Probed(21, "node-2", balancer.Timeout, 56)
-	l.Told(30, engine.Told{Members: []engine.Member{
+	l.ProbeEnded(20, "node-2", balancer.OK, 55)
+	l.ProbeEnded(21, "node-2", balancer.Timeout, 56)
+	l.EndpointsUpdated(30, engine.EndpointUpdate{Endpoints: []engine.EndpointInfo{
 		{Name: "node-1", Addr: "10.0.0.1:80", State: balancer.Ready},
 		{Name: "node-2", Addr: "10.0.0.2:80", State: balancer.Draining},
 		{Name: "node-3", State: balancer.Gone},
--- a/internal/experiment/processes/sidecar.go
+++ b/internal/experiment/processes/sidecar.go
@@ -68,7 +68,7 @@
 // fieldNames are the figures of a load report as the instances know them.
 func (r *run) fieldNames() []string {
 	if !isSidecar(r.o.Daemon) {
-		return r.site.Fields
+		return r.site.LoadReportFields
 	}
 	var names []string
 	for _, f := range r.site.Settings.Fields {
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -236,7 +236,7 @@
 	if !r.limits() {
 		return nil
 	}
-	zero := clock.Boot() - r.now()
+	zero := clock.BootTime() - r.now()
 	for n := range r.instances {
 		f, err := os.Open(r.spentPath(n))
 		if err != nil {
@@ -287,12 +287,12 @@
 		Hear: func(from string, w coordination.Word) {
 			mu.Lock()
 			defer mu.Unlock()
-			m.Hear(clock.Boot(), from, w)
+			m.Hear(clock.BootTime(), from, w)
 		}})
 	if err != nil {
 		return nil, err
 	}
-	m.Begin(clock.Boot(), rand.Uint64())
+	m.Begin(clock.BootTime(), rand.Uint64())
 	ended := make(chan struct{})
 	turn := time.NewTicker(10 * time.Millisecond)
 	var done sync.WaitGroup
@@ -304,7 +304,7 @@
 				return
 			}
 			mu.Lock()
-			m.Tick(clock.Boot())
+			m.Tick(clock.BootTime())
 			out := m.Out()
 			mu.Unlock()
 			for _, o := range out {
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -370,7 +370,7 @@
 	if _, err := writer(0); err != nil { // what is wrong with the folder is told now
 		return nil, nil, err
 	}
-	verdicts := map[engine.Verdict]string{engine.Served: accesslog.Served, engine.Refused: accesslog.Refused, engine.Limited: accesslog.Refused, engine.FailedLate: accesslog.Late}
+	verdicts := map[engine.Verdict]string{engine.Served: accesslog.Served, engine.Rejected: accesslog.Refused, engine.RateLimited: accesslog.Refused, engine.TimedOut: accesslog.Late}
 	return func(o *simulation.Options) {
 		o.Record = func(x *simulation.Request) {
 			now.Store(max(now.Load(), x.Arrived+x.Took))
@@ -378,7 +378,7 @@
 			if err != nil {
 				return
 			}
-			r := accesslog.Row{Arrived: x.Arrived, Took: x.Took, Waited: x.Answer.Waited, Patience: x.Patience, Client: fmt.Sprint("process-", x.Process), Class: s.Classes[x.Class],
+			r := accesslog.Row{Arrived: x.Arrived, Took: x.Took, Waited: x.Answer.QueueTime, Patience: x.Patience, Client: fmt.Sprint("process-", x.Process), Class: s.Classes[x.Class],
 				Verdict: accesslog.Failed, Endpoint: x.Answer.Endpoint, Attempts: int32(x.Answer.Attempts), Object: h.Hash("object", fmt.Sprint(x.Object)), Retry: x.Retry}
 			if x.Key != 0 {
 				r.Key = h.Hash("key", fmt.Sprint(x.Key))
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -49,7 +49,7 @@
 	Pool *core.Pool // to which all requests go, without routes
 
 	// SendWhole makes an attempt at an endpoint (upstream.Pool.SendWhole).
-	SendWhole func(ctx context.Context, t *core.Try, q *upstream.Request) engine.Reply
+	SendWhole func(ctx context.Context, t *core.AttemptContext, q *upstream.Request) engine.AttemptResult
 
 	// Record is told of each request that was taken, once it is over, from many goroutines; it must not wait. nil is
 	// nobody.
@@ -91,7 +91,7 @@
 
 // ChangeClient gives a client another spec; what it has open stays open.
 func (f *Front) ChangeClient(c *Client, s Spec) error {
-	if err := f.o.Core.ChangeClient(c.share, s.ClientSpec); err != nil {
+	if err := f.o.Core.SetClientSpec(c.share, s.ClientSpec); err != nil {
 		return err
 	}
 	f.conns.mu.Lock()
--- a/internal/frontend/http1/plain.go
+++ b/internal/frontend/http1/plain.go
@@ -23,7 +23,7 @@
 const (
 	// plainHold is what is held of a body in either direction. Up to so many bytes a message's time is that of its last
 	// byte, and beyond it that of its first (DAYS), so that holding more would only make it later.
-	plainHold = siteconfig.BodyMost
+	plainHold = siteconfig.MaxBodyBytes
 	// plainIdle is how long a message that streams may say nothing. Peers write slowly and in pieces, a client 64 kB a
 	// second at the least; who is silent for longer than any request may take is gone.
 	plainIdle = 10 * time.Second
@@ -129,11 +129,11 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	k = &core.Call{Client: conn.client.share, Pool: f.o.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: uint8(class),
+	k = &core.Call{Client: conn.client.share, Pool: f.o.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
 		Tenant: f.tenantNamed(r.Header.Get("X-Customer")), Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
-		Deadline: left - siteconfig.AnswerMargin.Microseconds()}}
+		Deadline: left - siteconfig.ResponseMargin.Microseconds()}}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		k.In.Hint, k.In.HasHint = hint, true
+		k.Request.Hint, k.Request.HasHint = hint, true
 	}
 	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.Rules}
 	connection := r.Header["Connection"]
@@ -142,7 +142,7 @@
 			out.Header[k] = v
 		}
 	}
-	out.Wait = time.Duration(k.In.Deadline) * time.Microsecond
+	out.Wait = time.Duration(k.Request.Deadline) * time.Microsecond
 	return k, rt, out, framing, nil
 }
 
--- a/internal/frontend/http1/record.go
+++ b/internal/frontend/http1/record.go
@@ -18,9 +18,9 @@
 	In             int64  // bytes of its body; -1 is not known
 	Out            int64  // bytes of the answer's body that were held; -1 is not known
 
-	Left   bool          // its client went before its answer, and what follows is not known
-	Answer engine.Answer // its Reply is not to be used any more
-	Status int           // of HTTP, as the client got it
+	Left   bool            // its client went before its answer, and what follows is not known
+	Answer engine.Response // its Reply is not to be used any more
+	Status int             // of HTTP, as the client got it
 }
 
 // taken begins what is told of a request, nil if nobody is.
@@ -28,12 +28,12 @@
 	if f.o.Record == nil {
 		return nil
 	}
-	return &Exchange{Arrived: k.Arrived, Patience: k.In.Deadline - k.Arrived, Client: c.client.Name, Route: route, Class: k.In.Class, Tenant: k.In.Tenant,
-		Key: key, Object: object, Retry: k.In.Retry, In: in}
+	return &Exchange{Arrived: k.ArrivedAt, Patience: k.Request.Deadline - k.ArrivedAt, Client: c.client.Name, Route: route, Class: k.Request.Class, Tenant: k.Request.Tenant,
+		Key: key, Object: object, Retry: k.Request.Retry, In: in}
 }
 
 // over tells of a request of a class that is over.
-func (f *Front) over(x *Exchange, class uint8, a *engine.Answer, status int, out int64) {
+func (f *Front) over(x *Exchange, class uint8, a *engine.Response, status int, out int64) {
 	f.counts.settle(class, status)
 	if x == nil {
 		return
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -228,9 +228,9 @@
 	}
 	rt.forwarded(c, q, out.Header)
 	rt.Request.apply(out.Header)
-	k := &core.Call{Client: c.client.share, Pool: rt.Pool, ID: id, Answer: make(chan engine.Answer, 1), In: balancer.Request{Class: class,
+	k := &core.Call{Client: c.client.share, Pool: rt.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: class,
 		Tenant: f.tenantNamed(rt.Tenant.of(c, q, path)), Key: key(rt.Object.of(c, q, path)), Tries: rt.Tries}}
-	k.In.Deadline = left - siteconfig.AnswerMargin.Microseconds() // from its arrival
+	k.Request.Deadline = left - siteconfig.ResponseMargin.Microseconds() // from its arrival
 	return k, out, nil
 }
 
--- a/internal/frontend/http1/whole.go
+++ b/internal/frontend/http1/whole.go
@@ -90,14 +90,14 @@
 	}
 	w.edits, w.idle = &rt.Answer, rt.OtherRules.Idle
 	k.Attempt = f.sending(out)
-	k.Arrived = f.o.Clock.Now()
-	k.In.Deadline += k.Arrived
+	k.ArrivedAt = f.o.Clock.Now()
+	k.Request.Deadline += k.ArrivedAt
 	if s := out.Stream; s != nil {
-		k.Spent, k.In.Upload = s.Taken, true
-		k.In.Deadline = k.Arrived + rt.Whole.Microseconds()
+		k.NotReplayable, k.Request.Upload = s.Taken, true
+		k.Request.Deadline = k.ArrivedAt + rt.Whole.Microseconds()
 	}
 	if by := f.endBy.Load(); by > 0 {
-		k.In.Deadline = min(k.In.Deadline, by)
+		k.Request.Deadline = min(k.Request.Deadline, by)
 	}
 	in := int64(len(out.Body))
 	if framing.Kind == http1msg.Sized {
@@ -253,15 +253,15 @@
 	w.stream = stream
 	client := c.newWatch(stream == nil)
 	if client.left() { // while it waited to be read: nothing of it is to go anywhere
-		w.f.over(w.noted, k.In.Class, nil, 0, 0)
+		w.f.over(w.noted, k.Request.Class, nil, 0, 0)
 		return false
 	}
 	client.begin()
 	w.f.o.Core.Submit(k)
-	var a engine.Answer
+	var a engine.Response
 	for waiting := true; waiting; {
 		select {
-		case a = <-k.Answer:
+		case a = <-k.Response:
 			waiting = false
 		case <-client.more:
 			// The client has sent the beginning of its next request, as it may (RFC 9112 section 9.3.2).
@@ -285,7 +285,7 @@
 		w.stream, w.last = nil, true // the rest of the body is in the way
 	}
 	keep := w.answer(a)
-	w.f.over(w.noted, k.In.Class, &a, w.status, w.length)
+	w.f.over(w.noted, k.Request.Class, &a, w.status, w.length)
 	if attempted {
 		<-stream.Over() // the attempt reads the client until it ends
 		keep = keep && stream.Body.Done()
@@ -298,13 +298,13 @@
 
 // leave tells that the client has gone, or is to go.
 func (w *answering) leave(k *core.Call, client *watch) {
-	w.f.over(w.noted, k.In.Class, nil, 0, 0)
-	w.f.o.Core.Leave(k)
+	w.f.over(w.noted, k.Request.Class, nil, 0, 0)
+	w.f.o.Core.ClientGone(k)
 	client.end()
 }
 
 // answer gives the final answer, and says whether the connection may serve another request.
-func (w *answering) answer(a engine.Answer) bool {
+func (w *answering) answer(a engine.Response) bool {
 	if a.Verdict != engine.Served && w.stream != nil {
 		<-w.stream.Over()
 		if err := w.stream.Err(); err != nil { // it is the client's body that has failed
@@ -312,18 +312,18 @@
 			return w.own(turnedAway(bodyError(err)), "http_request_error")
 		}
 	}
-	if a.Reply != nil && a.Reply.Answer != nil && (a.Verdict == engine.Served || !w.plain) {
-		return w.pass(a.Reply.Answer.(*upstream.Whole))
+	if a.Result != nil && a.Result.Response != nil && (a.Verdict == engine.Served || !w.plain) {
+		return w.pass(a.Result.Response.(*upstream.Whole))
 	}
 	switch a.Verdict {
-	case engine.Refused:
+	case engine.Rejected:
 		return w.own(newResponse(http.StatusServiceUnavailable, "refused: "+or(a.Reason, "try again later")).retryAfter(clock.Duration(a.RetryAfter)),
 			"destination_unavailable")
-	case engine.Limited:
+	case engine.RateLimited:
 		return w.own(newResponse(http.StatusTooManyRequests, "refused: "+a.Reason).retryAfter(clock.Duration(a.RetryAfter)), "http_request_denied")
-	case engine.IDOpen:
+	case engine.DuplicateID:
 		return w.own(newResponse(http.StatusConflict, "a request with this id is open"), "http_request_denied")
-	case engine.FailedLate:
+	case engine.TimedOut:
 		return w.own(newResponse(http.StatusGatewayTimeout, "no answer in time"), "http_response_timeout")
 	}
 	return w.own(newResponse(http.StatusBadGateway, "failed"), "http_response_incomplete")
@@ -518,8 +518,10 @@
 }
 
 // sending returns the way to make an attempt of a request.
-func (f *Front) sending(out *upstream.Request) core.Attempt {
-	return func(ctx context.Context, t *core.Try) engine.Reply { return f.o.SendWhole(ctx, t, out) }
+func (f *Front) sending(out *upstream.Request) core.AttemptFunc {
+	return func(ctx context.Context, t *core.AttemptContext) engine.AttemptResult {
+		return f.o.SendWhole(ctx, t, out)
+	}
 }
 
 // tenantNamed returns a tenant's place in the settings, or one past all places.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -210,9 +210,9 @@
 		to.Tenants = append(to.Tenants, t.Name)
 	}
 	if names.Reporting.How != "none" {
-		to.Fields = names.Reporting.Fields
+		to.LoadReportFields = names.Reporting.Fields
 	}
-	to.OnAnswers = names.Reporting.How == "answers"
+	to.ReportsOnResponses = names.Reporting.How == "answers"
 	if to.KeepAlive = time.Duration(names.Limits.KeepAlive) * time.Microsecond; to.KeepAlive <= 0 {
 		to.KeepAlive = defaultKeepAlive
 	}
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -186,7 +186,7 @@
 // cold starts with nothing but what was said by hand.
 func (l *course) cold() {
 	l.s.start()
-	l.s.core.Hear(l.s.spoken()...)
+	l.s.core.ReceiveCordons(l.s.spoken()...)
 	l.serve()
 }
 
@@ -259,13 +259,13 @@
 		}
 	}
 	s.start()
-	s.core.Hear(s.spoken()...)
+	s.core.ReceiveCordons(s.spoken()...)
 	l.restore("at the start")
 	l.speak(l.from)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
 	l.loop.Beside.Go(func() {
-		if s.core.Wait(ctx) == nil {
+		if s.core.WaitReady(ctx) == nil {
 			l.loop.Post(func() { l.takerStep(decide.Started, "") })
 		}
 	})
@@ -404,13 +404,13 @@
 			}
 		case decide.Close:
 			l.pause()
-			l.state = l.encode(l.s.core.HandOver())
+			l.state = l.encode(l.s.core.SnapshotForHandover())
 		case decide.Reopen:
 			l.s.log.Info("serving on, as before")
 			l.takerStep(decide.TookBack, "")
 			l.emptied = false
 			l.s.front.Release(nil)
-			l.s.core.TakeBack()
+			l.s.core.CancelHandover()
 			l.s.pool.Idle(true)
 			if l.waiting != nil {
 				l.waiting()
@@ -553,5 +553,5 @@
 		l.s.log.Warn("words by hand from the other process make no sense", "error", err)
 		return
 	}
-	l.s.core.Hear(words...)
+	l.s.core.ReceiveCordons(words...)
 }
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -35,7 +35,7 @@
 
 // byHand takes an endpoint out, or lets it in again.
 func (s *sidecar) byHand(ctx context.Context, target string, out bool) error {
-	w, known, err := s.core.ByHand(ctx, target, out, takeover.Monotonic())
+	w, known, err := s.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	switch {
 	case err != nil:
 		return err
@@ -61,7 +61,7 @@
 	}
 	s.writing.Lock()
 	defer s.writing.Unlock()
-	words, err := s.core.Words(ctx)
+	words, err := s.core.Cordons(ctx)
 	if err == nil {
 		var text []byte
 		if text, err = json.Marshal(words); err == nil {
@@ -102,7 +102,7 @@
 	var classes []http1.Counts
 	var open int
 	var relayed uint64
-	list, err := s.core.Figures(ctx, func() {
+	list, err := s.core.Statistics(ctx, func() {
 		classes, open = s.front.Figures()
 		relayed = s.pool.Relayed()
 	})
@@ -122,12 +122,12 @@
 	}
 	line("relayed", relayed)
 	line("open_requests", uint64(open))
-	line("registry_entries", uint64(list.Listed))
-	line("out_of_rotation", uint64(list.Avoided))
-	if list.Bounded {
-		line("overload_level_percent", uint64(100*list.Level+0.5))
-		line("overload_shed", list.Shed)
-		line("overload_probes_kept_in", list.KeptIn)
+	line("registry_entries", uint64(list.ListedEndpoints))
+	line("out_of_rotation", uint64(list.AvoidedEndpoints))
+	if list.OverloadControlled {
+		line("overload_level_percent", uint64(100*list.OverloadLevel+0.5))
+		line("overload_shed", list.ShedRequests)
+		line("overload_probes_kept_in", list.SuppressedProbes)
 	}
 	return b, nil
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -28,7 +28,7 @@
 		c = next
 		s.log.Info("configuration read again", "moved", moved, "discovery", c.FileDiscovery)
 		if moved {
-			s.endpoints.Moved(c.FileDiscovery)
+			s.endpoints.SetSource(c.FileDiscovery)
 			s.source.Move(s.watcher(c.FileDiscovery, discovery.Unlisted))
 		}
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -42,7 +42,7 @@
 	for _, r := range []*http.Request{
 		look(480),
 		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
-		request("POST", "/book", "book", 480, strings.Repeat("b", siteconfig.BodyMost-6)), // the answer is as large as one may be
+		request("POST", "/book", "book", 480, strings.Repeat("b", siteconfig.MaxBodyBytes-6)), // the answer is as large as one may be
 		request("POST", "/pay?p=1", "pay", 480, ""),
 	} {
 		body, _ := io.ReadAll(r.Body)
@@ -768,7 +768,7 @@
 			}()
 			scriptedpeer.Within(t, dialing, "dial")
 			tc.news.Generation = 8
-			s.parts.endpoints.Members(context.Background(), tc.news.Told())
+			s.parts.endpoints.UpdateEndpoints(context.Background(), tc.news.Told())
 			if tc.wait {
 				<-time.After(time.Duration(cfg.Site.Settings.Contract.DrainGrace) * time.Microsecond)
 			}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -147,17 +147,19 @@
 	}
 	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(sockets(c)),
 		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive, Settle: upstream.SettleTime,
-		Fields: c.Site.Fields, OnAnswers: c.Site.OnAnswers, Dial: dial})
+		Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses, Dial: dial})
 	w := s.watcher(c.Discovery, c.Known.Generation)
 	s.watcher1 = w
 	if c.Site.Settings.Subscribe {
-		s.source = discovery.Once(w, func() { s.endpoints.Members(context.Background(), engine.Told{Kind: balancer.ListFailed}) })
+		s.source = discovery.Once(w, func() {
+			s.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
+		})
 	} else {
 		s.source = discovery.Keep(w)
 	}
 	var err error
-	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observe: observe})
-	pool := engine.PoolConfig{Source: c.Discovery, Known: c.Known.Told(), Watch: s.source.Watch}
+	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observer: observe})
+	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.Told(), Watch: s.source.Watch}
 	if c.Overload {
 		o := overload.DefaultSettings()
 		o.Instances = c.Site.Settings.Balancers
@@ -191,7 +193,9 @@
 	return w
 }
 
-func (s *sidecar) tell(ctx context.Context, t engine.Told) { s.endpoints.Members(ctx, t) }
+func (s *sidecar) tell(ctx context.Context, t engine.EndpointUpdate) {
+	s.endpoints.UpdateEndpoints(ctx, t)
+}
 
 func (s *sidecar) serve(stop context.Context, ln net.Listener, reload <-chan os.Signal,
 	read func() (*platform.Config, error)) error {
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -14,7 +14,7 @@
 // truth is how things stand with the endpoints, and what discovery has heard of it.
 type truth struct {
 	run    *run
-	heard  []engine.Member // as discovery has it
+	heard  []engine.EndpointInfo // as discovery has it
 	gen    int64
 	stale  monotime.Micros // what it hears comes later by this
 	silent bool            // it says nothing
@@ -22,7 +22,7 @@
 	groups map[int]*simendpoint.Group
 	draws  *randstream.Stream
 	count  uint64
-	all    []engine.Member // the whole list of a generation
+	all    []engine.EndpointInfo // the whole list of a generation
 	allGen int64
 	last   []monotime.Micros // when its last word of each endpoint was heard
 }
@@ -32,7 +32,7 @@
 	for i := range r.plan.Nodes {
 		m := t.member(i, balancer.Ready)
 		if r.plan.Nodes[i].Cold {
-			m.Started = clockOrigin
+			m.StartedAt = clockOrigin
 		}
 		t.heard = append(t.heard, m)
 	}
@@ -54,9 +54,9 @@
 }
 
 // member is an endpoint's entry.
-func (t *truth) member(n int, state balancer.State) engine.Member {
+func (t *truth) member(n int, state balancer.State) engine.EndpointInfo {
 	p := &t.run.plan.Nodes[n]
-	return engine.Member{Name: p.Name, Addr: strconv.Itoa(n), Zone: t.run.plan.Fleet.Zones[p.Zone], Kind: t.run.plan.Scenario.Nodes[p.Kind].Kind,
+	return engine.EndpointInfo{Name: p.Name, Addr: strconv.Itoa(n), Zone: t.run.plan.Fleet.Zones[p.Zone], Kind: t.run.plan.Scenario.Nodes[p.Kind].Kind,
 		Cell: uint16(p.Cell), State: state, Weight: float32(p.Config.Cores)}
 }
 
@@ -64,7 +64,7 @@
 type news struct {
 	in   *instance
 	life uint32
-	told engine.Told
+	told engine.EndpointUpdate
 }
 
 // change tells discovery how it now stands with an endpoint, after the time that it takes to hear of it. vanished says
@@ -87,21 +87,21 @@
 	t.last[n] = heard
 	m := t.member(n, state)
 	if state == balancer.Ready {
-		m.Started = clockOrigin + r.now
+		m.StartedAt = clockOrigin + r.now
 	}
 	r.queue.push(heard, evHeard, uint32(n), m)
 }
 
 // hear is the arrival of a word at discovery, which passes it on.
-func (t *truth) hear(n int, m engine.Member) {
+func (t *truth) hear(n int, m engine.EndpointInfo) {
 	t.heard[n] = m
 	t.gen++
-	members := []engine.Member{m}
+	members := []engine.EndpointInfo{m}
 	for _, in := range t.run.instances {
 		if !in.knows(n) {
 			continue
 		}
-		x := &news{in: in, life: in.life, told: engine.Told{Kind: balancer.ListDelta, Generation: t.gen, Members: members}}
+		x := &news{in: in, life: in.life, told: engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: t.gen, Endpoints: members}}
 		if t.silent {
 			t.held = append(t.held, x)
 			continue
@@ -148,9 +148,9 @@
 }
 
 // tell tells an instance's engine.
-func (in *instance) tell(t engine.Told) {
+func (in *instance) tell(t engine.EndpointUpdate) {
 	in.listed = true
-	for _, m := range t.Members {
+	for _, m := range t.Endpoints {
 		n, err := strconv.Atoi(m.Addr)
 		if err != nil {
 			panic(err) // it is what truth.member wrote
@@ -161,7 +161,7 @@
 			in.told[n] = in.run.now
 		}
 	}
-	in.pool.Members(in.local(), t)
+	in.pool.UpdateEndpoints(in.local(), t)
 }
 
 // knows says whether an instance is told of an endpoint.
@@ -175,18 +175,18 @@
 }
 
 // whole is the whole list for an instance.
-func (t *truth) whole(in *instance, kind balancer.ListKind) engine.Told {
-	told := engine.Told{Kind: kind, Generation: t.gen}
+func (t *truth) whole(in *instance, kind balancer.ListKind) engine.EndpointUpdate {
+	told := engine.EndpointUpdate{Kind: kind, Generation: t.gen}
 	if mine := t.run.plan.Instances[in.n].Nodes; mine != nil {
 		for _, n := range mine {
 			if t.heard[n].State != balancer.Gone {
-				told.Members = append(told.Members, t.heard[n])
+				told.Endpoints = append(told.Endpoints, t.heard[n])
 			}
 		}
 		return told
 	}
 	if t.all == nil || t.allGen != t.gen {
-		var all []engine.Member
+		var all []engine.EndpointInfo
 		for _, m := range t.heard {
 			if m.State != balancer.Gone {
 				all = append(all, m)
@@ -194,7 +194,7 @@
 		}
 		t.all, t.allGen = all, t.gen
 	}
-	told.Members = t.all
+	told.Endpoints = t.all
 	return told
 }
 
@@ -206,7 +206,7 @@
 	t := in.run.truth
 	x := &news{in: in, life: in.life, told: t.whole(in, balancer.ListFull)}
 	if t.silent {
-		x.told = engine.Told{Kind: balancer.ListFailed}
+		x.told = engine.EndpointUpdate{Kind: balancer.ListFailed}
 	}
 	in.run.queue.push(in.run.now+1000, evTold, 0, x)
 }
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -133,12 +133,12 @@
 // limits has instances go by other limits of tenants.
 func (r *run) limits(h *scenario.Happening, times float64) {
 	var all []float64
-	for _, v := range r.settings.Site.Limits {
+	for _, v := range r.settings.Site.TenantLimits {
 		all = append(all, v*times)
 	}
 	for _, n := range h.Instances {
 		if in := r.instances[n]; !in.down {
-			in.engine.Limits(all)
+			in.engine.SetTenantLimits(all)
 		}
 	}
 }
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -90,8 +90,8 @@
 // create makes the engine and what is around it, without a list.
 func (in *instance) create() error {
 	r := in.run
-	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.life), Sharing: r.settings.Sharing, Host: in,
-		Spent: func(_ monotime.Micros, budget string) { r.meter.Spent(r.now, budget) }})
+	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.life), Concurrency: r.settings.Sharing, Host: in,
+		OnQuotaSpent: func(_ monotime.Micros, budget string) { r.meter.Spent(r.now, budget) }})
 	if err := in.join(); err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 		own.Instances = len(r.plan.Instances)
 		over = &own
 	}
-	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, Rest: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, Known: engine.Told{Generation: -1}, Watch: in.watch})
+	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, OnIdleConnections: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, InitialEndpoints: engine.EndpointUpdate{Generation: -1}, Watch: in.watch})
 	if err != nil {
 		return err
 	}
@@ -140,8 +140,8 @@
 		}
 	}
 	in.down, in.wakeAt, in.frozen, in.held = false, 0, 0, nil
-	in.pool.Begin(in.local())
-	in.engine.BeginFleet(in.local())
+	in.pool.Start(in.local())
+	in.engine.StartCoordination(in.local())
 	if first || !in.run.truth.silent && in.deaf == 0 {
 		in.tell(in.run.truth.whole(in, balancer.ListFull))
 	}
@@ -224,9 +224,9 @@
 		tenant = uint16(r.ownTenant[s.Tenant])
 	}
 	// What is told is how long the client waits from when it sent the request; the way here is not known.
-	t.call = engine.Call{Client: in.clients[s.Process], Pool: in.pool, ID: fmt.Sprintf("%x-%d", s.ID, t.Number), Arrived: now, Host: t,
-		In: balancer.Request{Class: uint8(r.ownClass[s.Class]), Tenant: tenant, Retry: t.Retry, Key: s.Object, Write: s.class.Repeat != balancer.Safe,
-			Deadline: now + (t.Deadline-t.sent)/1000*1000 - siteconfig.AnswerMargin.Microseconds()}}
+	t.call = engine.Call{Client: in.clients[s.Process], Pool: in.pool, ID: fmt.Sprintf("%x-%d", s.ID, t.Number), ArrivedAt: now, HostData: t,
+		Request: balancer.Request{Class: uint8(r.ownClass[s.Class]), Tenant: tenant, Retry: t.Retry, Key: s.Object, Write: s.class.Repeat != balancer.Safe,
+			Deadline: now + (t.Deadline-t.sent)/1000*1000 - siteconfig.ResponseMargin.Microseconds()}}
 	r.meter.Costs.Decisions++
 	in.engine.Submit(now, &t.call)
 	in.settle()
@@ -285,9 +285,9 @@
 	if tell == nil {
 		return
 	}
-	s, arrived := t.story, t.call.Arrived
+	s, arrived := t.story, t.call.ArrivedAt
 	tell(&Request{Instance: in.n, Process: s.Process, Story: s.ID, Class: s.Class, Tenant: s.Tenant, Key: t.Key, Object: s.Object, Retry: t.Retry, Arrived: arrived,
-		Took: in.local() - arrived, Patience: t.call.In.Deadline - arrived, Left: left, Answer: t.answer})
+		Took: in.local() - arrived, Patience: t.call.Request.Deadline - arrived, Left: left, Answer: t.answer})
 }
 
 // left tells the engine that a client has gone.
@@ -297,7 +297,7 @@
 		in.table.Remove(t.conn)
 		in.record(t, true)
 	}
-	in.engine.Leave(in.local(), &t.call)
+	in.engine.ClientGone(in.local(), &t.call)
 	in.settle()
 }
 
@@ -310,7 +310,7 @@
 func (target) Drop() {}
 
 // Target finds an endpoint by its address, which is its place.
-func (in *instance) Target(addr string) engine.Target {
+func (in *instance) NewTarget(addr string) engine.Target {
 	place, err := strconv.Atoi(addr)
 	if err != nil {
 		panic(err) // it is what truth.member wrote
@@ -319,24 +319,24 @@
 }
 
 // Start starts an attempt.
-func (in *instance) Start(a *engine.Attempt) { newSending(in, a).start() }
+func (in *instance) StartAttempt(a *engine.Attempt) { newSending(in, a).start() }
 
 // Shut keeps in what has not gone out.
-func (in *instance) Shut(a *engine.Attempt) bool {
-	s, ok := a.Host.(*sending)
+func (in *instance) CancelUnsent(a *engine.Attempt) bool {
+	s, ok := a.HostData.(*sending)
 	return !ok || s.shut()
 }
 
 // Withdraw ends an attempt.
-func (in *instance) Withdraw(a *engine.Attempt) {
-	if s, ok := a.Host.(*sending); ok {
+func (in *instance) AbortAttempt(a *engine.Attempt) {
+	if s, ok := a.HostData.(*sending); ok {
 		s.withdraw()
 	}
 }
 
 // Silent forgets kept connections that were last used before the attempt began.
-func (in *instance) Silent(a *engine.Attempt) {
-	s, ok := a.Host.(*sending)
+func (in *instance) AttemptTimedOut(a *engine.Attempt) {
+	s, ok := a.HostData.(*sending)
 	if !ok {
 		return
 	}
@@ -354,11 +354,11 @@
 }
 
 // Probe asks an endpoint for its load.
-func (in *instance) Probe(p *engine.Pool, e *engine.Endpoint) { newProbe(in, e) }
+func (in *instance) StartProbe(p *engine.Pool, e *engine.Endpoint) { newProbe(in, e) }
 
 // Answer sends a client its answer.
-func (in *instance) Answer(c *engine.Call, a engine.Answer) {
-	t := c.Host.(*try)
+func (in *instance) Respond(c *engine.Call, a engine.Response) {
+	t := c.HostData.(*try)
 	r := in.run
 	t.answer, t.has = a, true
 	in.close(t)
@@ -375,7 +375,7 @@
 }
 
 // Ready needs no word to anybody.
-func (in *instance) Ready() {}
+func (in *instance) EndpointReady() {}
 
 // Log tells what an instance logs.
 func (in *instance) Log(line string, args ...any) {
@@ -419,8 +419,8 @@
 }
 
 func newSending(in *instance, a *engine.Attempt) *sending {
-	s := &sending{in: in, a: a, to: a.Endpoint.Target.(target).e, try: a.Call.Host.(*try), life: in.life, began: in.run.now, wanted: true}
-	a.Host = s
+	s := &sending{in: in, a: a, to: a.Endpoint.Target.(target).e, try: a.Call.HostData.(*try), life: in.life, began: in.run.now, wanted: true}
+	a.HostData = s
 	return s
 }
 
@@ -514,7 +514,7 @@
 		return
 	}
 	if s.phase == shutIn || !s.a.Endpoint.MaySend(in.local()) || in.local() >= s.a.Deadline ||
-		s.a.Until > 0 && in.local() >= s.a.Until {
+		s.a.SendBefore > 0 && in.local() >= s.a.SendBefore {
 		s.phase = shutIn
 		s.keep()
 		s.end(balancer.Moot)
@@ -561,11 +561,11 @@
 		return
 	}
 	r.meter.Costs.Decisions++
-	reply := engine.Reply{Status: status, At: in.local(), Answer: nil}
+	reply := engine.AttemptResult{Status: status, At: in.local(), Response: nil}
 	if status == balancer.OK {
-		reply.Answer = s
+		reply.Response = s
 	}
-	in.engine.Ended(in.local(), s.a, reply)
+	in.engine.AttemptEnded(in.local(), s.a, reply)
 	in.settle()
 }
 
@@ -702,7 +702,7 @@
 	life  uint32
 	n     uint64
 	sent  monotime.Micros // the instance's clock
-	reply engine.Reply
+	reply engine.AttemptResult
 }
 
 func newProbe(in *instance, e *engine.Endpoint) {
@@ -759,6 +759,6 @@
 	}
 	p.reply.At = p.in.local()
 	p.in.run.meter.Costs.Decisions++
-	p.in.engine.Probed(p.in.local(), p.pool, p.e, p.sent, p.reply)
+	p.in.engine.ProbeEnded(p.in.local(), p.pool, p.e, p.sent, p.reply)
 	p.in.settle()
 }
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -35,12 +35,12 @@
 // Settings are what a fleet runs on.
 type Settings struct {
 	Site        siteconfig.Site // of any instance: what differs between them is filled in
-	Sharing     engine.Sharing
-	RetryBudget float64            // of the pool
-	Subset      *subset.Settings   // of each instance: place and number are filled in; nil is none
-	Overload    *overload.Settings // of each instance: their number is filled in; nil is none
-	Together    *engine.Together   // of each: who it is and who carries words are filled in; nil is none
-	Connections int                // to endpoints, of an instance; 0 is no bound
+	Sharing     engine.ConcurrencySettings
+	RetryBudget float64              // of the pool
+	Subset      *subset.Settings     // of each instance: place and number are filled in; nil is none
+	Overload    *overload.Settings   // of each instance: their number is filled in; nil is none
+	Together    *engine.Coordination // of each: who it is and who carries words are filled in; nil is none
+	Connections int                  // to endpoints, of an instance; 0 is no bound
 	Clients     connlimit.Limits
 	Client      fairqueue.ClientSpec // what each client process may do
 
@@ -84,7 +84,7 @@
 	Took              monotime.Micros
 	Patience          monotime.Micros
 	Left              bool // its client went before its answer
-	Answer            engine.Answer
+	Answer            engine.Response
 }
 
 // clockOrigin is Unix time at the beginning of a run, in microseconds: what clocks of instances and discovery tell.
@@ -295,7 +295,7 @@
 	case evProbed:
 		e.p.(*probe).answered()
 	case evHeard:
-		r.truth.hear(int(e.n), e.p.(engine.Member))
+		r.truth.hear(int(e.n), e.p.(engine.EndpointInfo))
 	case evTold:
 		e.p.(*news).arrive()
 	case evBegin:
@@ -416,7 +416,7 @@
 	life    uint32
 	call    engine.Call
 	conn    *connlimit.Conn[*clientConn]
-	answer  engine.Answer
+	answer  engine.Response
 	has     bool // the instance has answered
 	taken   bool // by the engine
 	place   int  // among its instance's open ones
@@ -431,11 +431,11 @@
 	}
 	switch t.answer.Verdict {
 	case engine.Served:
-		if s, ok := t.answer.Reply.Answer.(*sending); ok {
+		if s, ok := t.answer.Result.Response.(*sending); ok {
 			r.meter.Costs.Useful += float64(s.job.Work)
 		}
 		t.over(simclient.OK, 0)
-	case engine.Refused, engine.Limited:
+	case engine.Rejected, engine.RateLimited:
 		t.over(simclient.Refused, t.answer.RetryAfter)
 	default:
 		t.over(simclient.Failed, 0)
--- a/internal/simulation/model_test.go
+++ b/internal/simulation/model_test.go
@@ -72,7 +72,7 @@
 			AnswerSlack: 16_000},
 		Goal: balancer.Goal{Whole: 1}}
 	return &Settings{Site: siteconfig.Site{Settings: s, Classes: []string{"look", "book", "sell"}, Tenants: []string{"p"}, Zones: []string{"x", "y"}, Kinds: []string{"n"},
-		KeepAlive: 15 * time.Second}, Sharing: engine.Sharing{Open: 1000, Adaptive: &concurrency.Settings{Min: 4, Max: 500, Initial: 16}},
+		KeepAlive: 15 * time.Second}, Sharing: engine.ConcurrencySettings{MaxOpen: 1000, Adaptive: &concurrency.Settings{Min: 4, Max: 500, Initial: 16}},
 		Clients: connlimit.Limits{MaxConnections: 500, MaxIdle: 100, MaxIdleTime: 15 * second, MinIdleTime: second / 10}, Client: fairqueue.ClientSpec{Weight: 1}}
 }
 
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -36,12 +36,12 @@
 	t.Fleet.Lenders = Lenders(t.Fleet.Lenders, len(in.run.plan.Instances))
 	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Loans.Most = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
 	lives := uint64(in.life) << 8
-	t.Lives = func() uint64 {
+	t.NextIncarnation = func() uint64 {
 		lives++
 		return lives
 	}
-	t.Tell = in.tellWord
-	return in.engine.Join(t)
+	t.Send = in.tellWord
+	return in.engine.JoinFleet(t)
 }
 
 // tellWord sends a word on its way. What is said while a process is stopped was said before: it goes out.
@@ -74,8 +74,8 @@
 // it is given away, and begun anew with what was given.
 func (in *instance) replaced() {
 	now := in.local()
-	if s := in.engine.GiveFleet(now); s != nil {
-		in.engine.RestoreFleet(now, 0, s)
+	if s := in.engine.HandOverCoordination(now); s != nil {
+		in.engine.RestoreCoordination(now, 0, s)
 	}
 	in.settle()
 }
@@ -86,6 +86,6 @@
 	if to.down || to.life != w.life || r.plan.Parts(r.now, w.from.n, to.n) || r.network.cut(w.from.zone, to.zone) {
 		return
 	}
-	to.engine.Word(to.local(), instanceName(w.from.n), w.word)
+	to.engine.ReceiveFleetMessage(to.local(), instanceName(w.from.n), w.word)
 	to.settle()
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	answerMost   = siteconfig.BodyMost + 64<<10 // with its head and framing
+	answerMost   = siteconfig.MaxBodyBytes + 64<<10 // with its head and framing
 	probeTimeout = 250 * time.Millisecond
 )
 
@@ -39,7 +39,7 @@
 }
 
 // Send makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
-func (p *Pool) Send(ctx context.Context, t *core.Try, m *Message) engine.Reply {
+func (p *Pool) Send(ctx context.Context, t *core.AttemptContext, m *Message) engine.AttemptResult {
 	c, left, status := p.ready(ctx, t)
 	if c == nil {
 		return p.ended(status)
@@ -49,18 +49,18 @@
 
 // ready returns a connection for an attempt that may go now, and the milliseconds that are left for it; or none, and
 // what has come of the attempt.
-func (p *Pool) ready(ctx context.Context, t *core.Try) (c *Conn, leftMs int64, status balancer.Status) {
-	c, err := p.Get(ctx, t.To.(*Target))
+func (p *Pool) ready(ctx context.Context, t *core.AttemptContext) (c *Conn, leftMs int64, status balancer.Status) {
+	c, err := p.Get(ctx, t.Target.(*Target))
 	if err != nil {
 		return nil, 0, p.NoConn(ctx, err)
 	}
-	if t.Hold != nil && !t.Hold(func() { c.Conn.Close() }) {
+	if t.OnAbort != nil && !t.OnAbort(func() { c.Conn.Close() }) {
 		p.unused(c, t)
 		return nil, 0, balancer.Moot
 	}
 	now := p.o.Clock.Now()
 	leftMs = (t.Deadline - now) / 1000
-	if leftMs < 1 || !t.MayGo(now) {
+	if leftMs < 1 || !t.ClaimSend(now) {
 		p.unused(c, t)
 		return nil, 0, balancer.Moot
 	}
@@ -68,8 +68,8 @@
 }
 
 // release ends an attempt's use of a connection, which may be kept if all on it is over and nobody has ended the sending on it.
-func (p *Pool) release(c *Conn, t *core.Try, keep bool) {
-	if t.LetGo != nil && !t.LetGo() {
+func (p *Pool) release(c *Conn, t *core.AttemptContext, keep bool) {
+	if t.ReleaseConn != nil && !t.ReleaseConn() {
 		keep = false
 	}
 	if keep {
@@ -80,8 +80,8 @@
 }
 
 // unused ends an attempt's use of a connection on which nothing was written.
-func (p *Pool) unused(c *Conn, t *core.Try) {
-	if t.LetGo != nil && !t.LetGo() {
+func (p *Pool) unused(c *Conn, t *core.AttemptContext) {
+	if t.ReleaseConn != nil && !t.ReleaseConn() {
 		p.Discard(c)
 		return
 	}
@@ -89,7 +89,7 @@
 }
 
 // Probe asks an endpoint for its load, or for its health where there are no load reports.
-func (to *Target) Probe() engine.Reply {
+func (to *Target) Probe() engine.AttemptResult {
 	p := to.pool
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -106,7 +106,7 @@
 	keep := false
 	r := p.exchange(ctx, c, m.bytes(0), nil, func(whole bool) { keep = whole })
 	if r.Status == balancer.OK && len(p.o.Fields) > 0 {
-		r.Load = parseLoad(p.o.Fields, string(r.Answer.(*Answer).Body))
+		r.Load = parseLoad(p.o.Fields, string(r.Response.(*Answer).Body))
 		keep = keep && r.Load != nil // else it was the answer to something else, perhaps, and its own may follow
 	} else {
 		answered = time.Now() // what tells nothing may have been another's
@@ -119,13 +119,13 @@
 	return r
 }
 
-func (p *Pool) ended(status balancer.Status) engine.Reply {
-	return engine.Reply{Status: status, At: p.o.Clock.Now()}
+func (p *Pool) ended(status balancer.Status) engine.AttemptResult {
+	return engine.AttemptResult{Status: status, At: p.o.Clock.Now()}
 }
 
 // exchange writes a request and reads its answer. The connection is released, and kept if both are whole. A request that is
 // written whole is counted.
-func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.Reply {
+func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.AttemptResult {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	c.limit.N = answerMost
 	n, err := c.Write(text)
@@ -148,7 +148,7 @@
 	}
 	switch {
 	case a.code == http.StatusOK:
-		r.Status, r.Answer = balancer.OK, &a.Answer
+		r.Status, r.Response = balancer.OK, &a.Answer
 	case (a.code == http.StatusServiceUnavailable || a.code == http.StatusGatewayTimeout) &&
 		a.Header.Get("X-Never-Ran") == "1":
 		r.Status = balancer.Full
@@ -238,15 +238,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if n > siteconfig.BodyMost {
+		if n > siteconfig.MaxBodyBytes {
 			return nil, errTooLarge
 		}
 		body := make([]byte, n)
 		_, err = io.ReadFull(c.r, body)
 		return body, err
 	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), siteconfig.BodyMost+1))
-		if err == nil && len(body) > siteconfig.BodyMost {
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), siteconfig.MaxBodyBytes+1))
+		if err == nil && len(body) > siteconfig.MaxBodyBytes {
 			err = errTooLarge
 		}
 		if err == nil {
--- a/internal/upstream/life_test.go
+++ b/internal/upstream/life_test.go
@@ -87,10 +87,10 @@
 		at := to
 		attempts.Go(func() {
 			defer leave()
-			r := u.SendWhole(ctx, &core.Try{To: at, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
+			r := u.SendWhole(ctx, &core.AttemptContext{Target: at, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
 				&Request{Method: "GET", URI: "/" + what, Host: "origin.svc", Header: http.Header{"X-Trace-Id": {id}},
 					Rules: &Rules{Hold: 1 << 10, Patient: true, Idle: time.Second}})
-			if a, _ := r.Answer.(*Whole); r.Status == balancer.OK && string(a.Held) != id {
+			if a, _ := r.Response.(*Whole); r.Status == balancer.OK && string(a.Held) != id {
 				l.say("%s (%s) was served with %q", id, what, a.Held)
 			}
 			l.mu.Lock()
@@ -110,7 +110,7 @@
 			u.Idle(false)
 			u.Idle(true)
 		case 2:
-			to.Silent(time.Now())
+			to.AttemptTimedOut(time.Now())
 		case 3:
 			u.sweep()
 		case 4, 5:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -351,7 +351,7 @@
 
 // Silent closes the idle connections to an endpoint that were last used before an instant: one that has been
 // silent since then may not be the only one.
-func (to *Target) Silent(since time.Time) {
+func (to *Target) AttemptTimedOut(since time.Time) {
 	p := to.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -54,10 +54,10 @@
 func (p *Pool) at(addr string) *Target { return p.Target(addr).(*Target) }
 
 // try makes one attempt with a second of time.
-func (p *Pool) try(m *Message, to core.Target) engine.Reply {
+func (p *Pool) try(m *Message, to core.Target) engine.AttemptResult {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
-	return p.Send(ctx, &core.Try{To: to, Deadline: p.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, m)
+	return p.Send(ctx, &core.AttemptContext{Target: to, Deadline: p.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, m)
 }
 
 func keyed(body string) *Message {
@@ -183,8 +183,8 @@
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
 		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*interimMost), balancer.Reset},
 		{"unreadable report", strings.Replace(okAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
-		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", siteconfig.BodyMost+1,
-			strings.Repeat("x", siteconfig.BodyMost+1)), balancer.Reset},
+		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", siteconfig.MaxBodyBytes+1,
+			strings.Repeat("x", siteconfig.MaxBodyBytes+1)), balancer.Reset},
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -197,8 +197,8 @@
 			if r.Status != tc.want {
 				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
-			if r.Status == balancer.OK && string(r.Answer.(*Answer).Body) != "ok" {
-				t.Errorf("body %q", r.Answer.(*Answer).Body)
+			if r.Status == balancer.OK && string(r.Response.(*Answer).Body) != "ok" {
+				t.Errorf("body %q", r.Response.(*Answer).Body)
 			}
 		})
 	}
@@ -260,8 +260,8 @@
 	for i := range 4 {
 		m := plainGet()
 		m.Header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.try(m, to); r.Status != balancer.OK || string(r.Answer.(*Answer).Body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Answer.(*Answer).Body)
+		if r := u.try(m, to); r.Status != balancer.OK || string(r.Response.(*Answer).Body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Response.(*Answer).Body)
 		}
 	}
 }
@@ -323,7 +323,7 @@
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.Send(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }}, plainGet())
+	r := u.Send(ctx, &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, plainGet())
 	if r.Status != balancer.Moot {
 		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
 	}
@@ -412,7 +412,7 @@
 	u.try(plainGet(), to)
 	to.idle[0].idle = to.idle[0].idle.Add(-u.idleMost * 3 / 4)
 	used := to.idle[0].idle
-	r := u.Send(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return false }}, plainGet())
+	r := u.Send(context.Background(), &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return false }}, plainGet())
 	if r.Status != balancer.Moot || len(to.idle) != 1 || !to.idle[0].idle.Equal(used) {
 		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idle, used)
 	}
@@ -555,16 +555,16 @@
 	for name, send := range map[string]func(u *Pool, to core.Target) (balancer.Status, string){
 		"exchange": func(u *Pool, to core.Target) (balancer.Status, string) {
 			r := u.try(plainGet(), to)
-			a, _ := r.Answer.(*Answer)
+			a, _ := r.Response.(*Answer)
 			if a == nil {
 				return r.Status, ""
 			}
 			return r.Status, string(a.Body)
 		},
 		"whole": func(u *Pool, to core.Target) (balancer.Status, string) {
-			r := u.SendWhole(context.Background(), &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
+			r := u.SendWhole(context.Background(), &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
 				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
-			a, _ := r.Answer.(*Whole)
+			a, _ := r.Response.(*Whole)
 			if a == nil {
 				return r.Status, ""
 			}
@@ -629,8 +629,8 @@
 			io.WriteString(c, okAnswer)
 		}
 	}))
-	send := func(ctx context.Context) engine.Reply {
-		return u.SendWhole(ctx, &core.Try{To: to, Deadline: u.o.Clock.Now() + 1_000_000, MayGo: func(monotime.Micros) bool { return true }},
+	send := func(ctx context.Context) engine.AttemptResult {
+		return u.SendWhole(ctx, &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
 			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
 	}
 	for i := range 4 {
@@ -639,8 +639,8 @@
 		if r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		if took := time.Since(begun); i > 0 && (took < settle/2 || r.At-r.From > took.Microseconds()/2) {
-			t.Errorf("request %d: after %v, of which the endpoint's are %d", i, took, r.At-r.From)
+		if took := time.Since(begun); i > 0 && (took < settle/2 || r.At-r.SentAt > took.Microseconds()/2) {
+			t.Errorf("request %d: after %v, of which the endpoint's are %d", i, took, r.At-r.SentAt)
 		}
 	}
 	left, leave := context.WithCancel(context.Background())
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -164,7 +164,7 @@
 }
 
 // SendWhole makes one attempt (core.Attempt, but for the request). The Answer of its reply is a *Whole.
-func (p *Pool) SendWhole(ctx context.Context, t *core.Try, q *Request) engine.Reply {
+func (p *Pool) SendWhole(ctx context.Context, t *core.AttemptContext, q *Request) engine.AttemptResult {
 	c, left, status := p.ready(ctx, t)
 	if c == nil {
 		return p.ended(status)
@@ -179,7 +179,7 @@
 		left = min(left, q.Wait.Milliseconds())
 	}
 	r, keep := e.run(ctx, q.bytes(left))
-	r.From = max(e.wrote.Load(), c.from)
+	r.SentAt = max(e.wrote.Load(), c.from)
 	if q.Stream != nil {
 		q.Stream.finish(e)
 		keep = keep && q.Stream.Body.Done()
@@ -194,7 +194,7 @@
 	pool    *Pool
 	c       *Conn
 	q       *Request
-	t       *core.Try
+	t       *core.AttemptContext
 	writing chan struct{} // closed once the body that streams has been written, or not
 	wrote   atomic.Int64  // when its last byte was; 0 is not yet
 
@@ -203,7 +203,7 @@
 }
 
 // run writes the request and reads its answer, and says whether the connection may be used again.
-func (e *whole) run(ctx context.Context, text []byte) (r engine.Reply, keep bool) {
+func (e *whole) run(ctx context.Context, text []byte) (r engine.AttemptResult, keep bool) {
 	p, c, q := e.pool, e.c, e.q
 	c.limit.N = answerHeadMost
 	c.SetDeadline(time.Time{})
@@ -248,10 +248,10 @@
 	c.limit.N = math.MaxInt64
 	r.Status = q.Rules.status(a)
 	r.Load = e.load(a)
-	r.Answer = a
-	r.From = e.wrote.Load()
+	r.Response = a
+	r.SentAt = e.wrote.Load()
 	if q.Rules.Own && r.Status != balancer.OK {
-		r.Answer = nil
+		r.Response = nil
 		whole, err := e.hold(a, http1msg.NewBody(c.r, a.Framing), false)
 		return r, whole && err == nil && !last
 	}
@@ -278,10 +278,10 @@
 	a.Rest = rest
 	failed := r.Status
 	r.Status, r.At = balancer.OK, began
-	if !e.t.Began(r) {
+	if !e.t.ResponseStarted(r) {
 		return p.ended(balancer.Cancelled), false
 	}
-	r.Answer = nil // it is the client's already
+	r.Response = nil // it is the client's already
 	select {
 	case err = <-rest.over:
 	case <-ctx.Done(): // nobody has taken it: the client went at that moment
@@ -451,7 +451,7 @@
 		case err == io.EOF:
 			return true, nil
 		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized && len(a.Held) > 0:
-			e.t.Heard() // it is slow, but not silent
+			e.t.ResponseProgress() // it is slow, but not silent
 			until = time.Time{}
 		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized:
 			// A head alone is not passed on: its client would be shown an answer that may never come, where another try may yet
