Name the parts of the allocator's lease by the terms of leader election

Ask, Yes, No, Drop, Life, Number and the like said nothing to a reader of Raft or PaxosLease. They are vote requests, grants, denials and releases, incarnations and rounds now, in package lease and where others use it.

--- a/internal/decide/coordination/fleet.go
+++ b/internal/decide/coordination/fleet.go
@@ -28,7 +28,7 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Lease *lease.Word        `cbor:"Lease"`
+	Lease *lease.Message     `cbor:"Lease"`
 	Ask   *quota.Ask         `cbor:"Ask"`
 	Seen  *observations.Seen `cbor:"Seen"` // with Ask
 	Grant *quota.Grant       `cbor:"Grant"`
@@ -82,7 +82,7 @@
 func (m *Member) lends() bool { return slices.Contains(m.s.Lenders, m.s.Self) }
 
 func (m *Member) lease(life uint64) lease.Settings {
-	return lease.Settings{Self: m.s.Self, Life: life, Voters: m.s.Lenders, Length: m.s.Lease, Drift: m.s.Loans.Drift, Seed: m.s.Seed}
+	return lease.Settings{Self: m.s.Self, Incarnation: life, Voters: m.s.Lenders, Duration: m.s.Lease, MaxClockDrift: m.s.Loans.Drift, Seed: m.s.Seed}
 }
 
 // Sees says what tells what the instance has seen itself.
@@ -170,7 +170,7 @@
 func (m *Member) Next() monotime.Micros {
 	at := m.askAt
 	if m.voter != nil {
-		at = min(at, m.voter.Next())
+		at = min(at, m.voter.NextTick())
 	}
 	return at
 }
@@ -199,14 +199,14 @@
 
 // flush takes the voter's words.
 func (m *Member) flush() {
-	for _, o := range m.voter.Take() {
-		m.out = append(m.out, Out{o.To, Word{Lease: &o.Word}})
+	for _, o := range m.voter.TakeOutgoing() {
+		m.out = append(m.out, Out{o.To, Word{Lease: &o.Message}})
 	}
 }
 
 // keep keeps the book while the lease is held.
 func (m *Member) keep(now monotime.Micros) {
-	held, _, yes := m.voter.Holds(now)
+	held, _, yes := m.voter.HeldTerm(now)
 	if term, open := m.book.Open(); open && (!yes || held != term) {
 		m.book.End()
 	}
@@ -259,7 +259,7 @@
 	switch {
 	case !m.Begun():
 	case w.Lease != nil && m.voter != nil:
-		m.voter.Hear(now, from, *w.Lease)
+		m.voter.Receive(now, from, *w.Lease)
 		m.flush()
 		m.keep(now)
 	case w.Ask != nil && m.voter != nil:
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -40,7 +40,7 @@
 type flying struct {
 	at       float64
 	from, to int
-	w        Word
+	w        Message
 }
 
 func newWorld(n int, seed uint64, drift float64) *world {
@@ -65,7 +65,7 @@
 	}
 	w.rates[i] = 1 + w.drift*(2*w.rng.Float64()-1)
 	w.starts[i], w.asleep[i] = w.now-1e6*w.rng.Float64(), 0
-	v, err := New(w.clock(i), Settings{Self: w.names[i], Life: w.lives, Voters: w.names, Length: length, Drift: w.drift, Seed: w.lives})
+	v, err := New(w.clock(i), Settings{Self: w.names[i], Incarnation: w.lives, Voters: w.names, Duration: length, MaxClockDrift: w.drift, Seed: w.lives})
 	if err != nil {
 		panic(err)
 	}
@@ -77,7 +77,7 @@
 }
 
 func (w *world) send(i int) {
-	for _, o := range w.voters[i].Take() {
+	for _, o := range w.voters[i].TakeOutgoing() {
 		to := slices.Index(w.names, o.To)
 		for copies := 1; copies > 0 && w.rng.Float64() >= w.loss; copies-- {
 			if w.rng.Float64() < w.loss {
@@ -87,7 +87,7 @@
 			if w.rng.Float64() < w.loss {
 				delay += w.rng.Float64() * w.late
 			}
-			w.words = append(w.words, flying{w.now + delay, i, to, o.Word})
+			w.words = append(w.words, flying{w.now + delay, i, to, o.Message})
 		}
 	}
 }
@@ -102,18 +102,18 @@
 		case f.at > w.now || w.asleep[f.to] > w.now:
 			w.words = append(w.words, f)
 		case !w.cut(f.from, f.to):
-			w.voters[f.to].Hear(w.clock(f.to), w.names[f.from], f.w)
+			w.voters[f.to].Receive(w.clock(f.to), w.names[f.from], f.w)
 			w.send(f.to)
 		}
 	}
 	holders := 0
 	for i, v := range w.voters {
-		if w.asleep[i] <= w.now && w.clock(i) >= v.Next() {
+		if w.asleep[i] <= w.now && w.clock(i) >= v.NextTick() {
 			v.Tick(w.clock(i))
 			w.send(i)
 		}
 		w.note(i, v)
-		if t, _, yes := v.Holds(w.clock(i)); yes { // one that is stopped holds it, too: it may wake
+		if t, _, yes := v.HeldTerm(w.clock(i)); yes { // one that is stopped holds it, too: it may wake
 			holders++
 			if !w.terms[t] {
 				w.terms[t] = true
@@ -139,7 +139,7 @@
 
 // note notes when a voter wins and loses the lease, as operations on a lock: winning takes from the question to the votes.
 func (w *world) note(i int, v *Voter) {
-	t, _, yes := v.Holds(w.clock(i))
+	t, _, yes := v.HeldTerm(w.clock(i))
 	if !yes {
 		t = Term{}
 	}
@@ -151,7 +151,7 @@
 		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{was, false}, Call: int64(w.now), Output: nil, Return: int64(w.now)})
 	}
 	if t != (Term{}) {
-		asked := float64(v.askedAt)/w.rates[i] + w.starts[i]
+		asked := float64(v.requestedAt)/w.rates[i] + w.starts[i]
 		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{t, true}, Call: int64(asked), Output: nil, Return: int64(w.now)})
 	}
 	w.holds[i] = t
@@ -222,9 +222,9 @@
 // What the argument rests on, each taken away: the search finds two holders.
 func TestPlanted(t *testing.T) {
 	for name, spoil := range map[string]func(v *Voter){
-		"a voter that starts votes at once":      func(v *Voter) { v.votes = 0; v.tryAt = v.soon() },
-		"votes that end before the lease does":   func(v *Voter) { v.vote.until = min(v.vote.until, v.vote.until-length/2) },
-		"a lease that is counted from its votes": func(v *Voter) { v.until += length / 2 },
+		"a voter that starts votes at once":      func(v *Voter) { v.votesFrom = 0; v.nextRoundAt = v.randomDelay() },
+		"votes that end before the lease does":   func(v *Voter) { v.vote.expiresAt = min(v.vote.expiresAt, v.vote.expiresAt-length/2) },
+		"a lease that is counted from its votes": func(v *Voter) { v.heldUntil += length / 2 },
 	} {
 		found := false
 		for seed := uint64(0); seed < 300 && !found; seed++ {
@@ -276,8 +276,8 @@
 }
 
 func TestSettings(t *testing.T) {
-	for _, s := range []Settings{{Self: "a", Voters: []string{"b"}, Length: length}, {Self: "a", Voters: []string{"a"}},
-		{Self: "a", Voters: []string{"a", "a"}, Length: length}, {Self: "a", Voters: []string{"a"}, Length: length, Drift: 0.5}} {
+	for _, s := range []Settings{{Self: "a", Voters: []string{"b"}, Duration: length}, {Self: "a", Voters: []string{"a"}},
+		{Self: "a", Voters: []string{"a", "a"}, Duration: length}, {Self: "a", Voters: []string{"a"}, Duration: length, MaxClockDrift: 0.5}} {
 		if _, err := New(0, s); err == nil {
 			t.Errorf("%+v is taken", s)
 		}
--- a/internal/decide/quota/loans.go
+++ b/internal/decide/quota/loans.go
@@ -77,10 +77,10 @@
 }
 
 // window is the second within which a budget holds, as long as it is by any clock.
-func (s *Settings) window() monotime.Micros { return lease.Longer(second, s.Drift) }
+func (s *Settings) window() monotime.Micros { return lease.ExtendForDrift(second, s.Drift) }
 
 // over is for how long a loan that is given now may be in force.
-func (s *Settings) over() monotime.Micros { return lease.Longer(s.Length, s.Drift) }
+func (s *Settings) over() monotime.Micros { return lease.ExtendForDrift(s.Length, s.Drift) }
 
 // Want is what a holder says of a budget.
 type Want struct {
--- a/internal/decide/quota/loans_test.go
+++ b/internal/decide/quota/loans_test.go
@@ -11,7 +11,7 @@
 
 var settings = Settings{Most: 4, Ready: 0.2, Length: 3 * second, Every: second / 4, Drift: 0.005}
 
-var term = lease.Term{Holder: "a", Life: 1, Number: 1}
+var term = lease.Term{Holder: "a", Incarnation: 1, Round: 1}
 
 func holder(t testing.TB) *Holder {
 	h, err := NewHolder(settings)
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -21,10 +21,10 @@
 
 // goldenEnvelopes returns one message of each type, with the file that holds its encoded form.
 func goldenEnvelopes() map[string]envelope {
-	term := lease.Term{Holder: "instance-1", Life: 0xfedcba9876543210, Number: 17}
+	term := lease.Term{Holder: "instance-1", Incarnation: 0xfedcba9876543210, Round: 17}
 	ask := &quota.Ask{
 		Life: 0x0123456789abcdef, Number: 23, Term: term, Of: 5,
-		OfTerm: lease.Term{Holder: "instance-0", Life: 3, Number: 2},
+		OfTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2},
 		Wants: []quota.Want{
 			{Budget: "further", Asked: 12.5, Used: 7.25, Holds: 40, Earns: 3.1},
 			{Budget: "tenant/one", Asked: 100, Used: 1e6, Holds: 1, Earns: 0.5},
@@ -44,16 +44,16 @@
 		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, Chance: 0.95}},
 	}
 	words := map[string]coordination.Word{
-		"lease-ask": {Lease: &lease.Word{Kind: lease.Ask, Life: term.Life, Number: 17}},
-		"lease-yes": {Lease: &lease.Word{Kind: lease.Yes, Life: term.Life, Number: 17}},
-		"lease-no": {Lease: &lease.Word{Kind: lease.No, Life: term.Life, Number: 17, Holder: "instance-2",
-			Left: 1_234_567}},
-		"lease-drop":       {Lease: &lease.Word{Kind: lease.Drop, Life: term.Life, Number: 17}},
+		"lease-ask": {Lease: &lease.Message{Kind: lease.VoteRequest, Incarnation: term.Incarnation, Round: 17}},
+		"lease-yes": {Lease: &lease.Message{Kind: lease.VoteGranted, Incarnation: term.Incarnation, Round: 17}},
+		"lease-no": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: term.Incarnation, Round: 17, Holder: "instance-2",
+			Remaining: 1_234_567}},
+		"lease-drop":       {Lease: &lease.Message{Kind: lease.VoteReleased, Incarnation: term.Incarnation, Round: 17}},
 		"quota-ask":        {Ask: ask, Seen: seen},
 		"quota-ask-empty":  {Ask: &quota.Ask{Life: 1, Number: 1}},
 		"quota-grant":      {Grant: grant, All: all},
 		"quota-grant-none": {Grant: &quota.Grant{Life: 1, Number: 1, Term: term}},
-		"all-parts": {Lease: &lease.Word{Kind: lease.No, Life: 1, Number: 2, Holder: "a", Left: 3}, Ask: ask, Seen: seen,
+		"all-parts": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3}, Ask: ask, Seen: seen,
 			Grant: grant, All: all},
 	}
 	envelopes := map[string]envelope{
