--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -11,11 +11,6 @@
 	pool *Pool
 }
 
-// nowhere stands in for the target of an endpoint that is not known.
-type unknownTarget struct{}
-
-func (unknownTarget) Drop() {}
-
 // Send starts an attempt.
 func (x actions) Send(id uint64, number uint32, timeout monotime.Micros) {
 	now := x.now
--- a/internal/engine/order.go
+++ b/internal/engine/maintenance.go
@@ -9,8 +9,6 @@
 	"dunlinsail/internal/monotime"
 )
 
-// This file obeys the order in which machines go out for work (package decide/work).
-
 // Orders are what an instance has to obey.
 type MaintenancePlan struct {
 	AwaitingPlan  bool            `json:"Wait"`  // no order has been heard yet: nothing goes anywhere
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -11,6 +12,13 @@
 	"dunlinsail/internal/monotime"
 )
 
+// text is a hash of a text.
+func hashString(s string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return h.Sum32()
+}
+
 // narrowed is a pool whose instance deals with a part of the list only (package subset): the whole list, and what is told
 // of it to the balancer.
 type subsetState struct {
