Split seven decision packages into files by concern

Declarations are moved with their text; a comparison of the declarations of both versions without comments finds no difference.

--- a/internal/decide/overload/overload.go
+++ b/internal/decide/overload/controller.go
@@ -1,89 +1,11 @@
-// Package overload decides, for one instance of a fleet that shares endpoints without words between its instances, what of
-// its work is turned away while the endpoints cannot do all that is asked, and what is left then of what only adds to their
-// load: further attempts and probes. It is told of its own demand, of its outcomes and of what endpoints report of their
-// whole load, in which the others' traffic is. From the same evidence all instances come to the same level, whatever they
-// have done before. It is a deterministic state machine for one caller at a time: no I/O, no clock, chance by a seed. It may
-// not know balancers, lists, requests or sockets; what it decides reaches the balancer as bounds.
-//
-// level.go holds how much is turned away, order.go in which order, budget.go what is left of further attempts and probes.
 package overload
 
 import (
-	"fmt"
 	"math"
 
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
-
-// Class is a class of requests.
-type Class struct {
-	PriorityWeight   float64 // of one request in its aim
-	LatencyObjective monotime.Micros
-}
-
-// Tenant is one of those who share the service.
-type Tenant struct{ Allowance float64 } // requests a second over all instances; 0 is none
-
-// Goal weighs what is judged: all worth, and the class served worst.
-type Goal struct{ Overall, WorstClass float64 }
-
-// Settings are an instance's. The zero value of a part is what holds where nothing is said.
-type Settings struct {
-	Classes         []Class
-	Tenants         []Tenant
-	OverShareWeight float64 // what a tenant's request beyond its share is worth, 0 to 1
-	Goal            Goal
-	Instances       int // as far as told, this one included: it divides the least of probes only
-	Seed            uint64
-
-	RetryRatio           float64 // further attempts for each first one that was accepted, within any second;
-	OverloadedRetryRatio float64 // and so many while work is turned away or many attempts fail
-	ProbeRatio           float64 // probes for each first attempt that was accepted
-	MaxEndpointProbes    float64 // probes a second that one endpoint gets of all instances together, at most
-	MinEndpointProbes    float64 // and at least, so that one that recovers is found
-}
-
-// Shipped returns the budgets that hold where the operators turn this on and say no more. A fifth of further attempts is what
-// a pool has without it; a twentieth under overload, since twice as many may have been accepted in the last second as are first
-// ones in the next, as endpoints begin to fail, and a tenth of those is the bound. Two probes for each that was accepted are the
-// two draws that a request waits for; many requests share one, so that far fewer are made. A hundred a second cost an endpoint a
-// hundredth of a core at 0.1 ms each, and one a second finds it again within a second once it recovers.
-func DefaultSettings() Settings {
-	return Settings{RetryRatio: 0.2, OverloadedRetryRatio: 0.05, ProbeRatio: 2, MaxEndpointProbes: 100, MinEndpointProbes: 1}
-}
-
-// SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Reason string }
-
-// Error says which, and why.
-func (e *SettingError) Error() string { return fmt.Sprintf("overload: %s: %s", e.Key, e.Reason) }
-
-func (s *Settings) validate() error {
-	if len(s.Classes) == 0 {
-		return &SettingError{"classes", "at least one is needed"}
-	}
-	for i, c := range s.Classes {
-		if !(c.PriorityWeight >= 0) || c.LatencyObjective <= 0 || math.IsInf(c.PriorityWeight, 0) {
-			return &SettingError{fmt.Sprintf("classes.%d", i), "worth must not be negative, aim must be positive"}
-		}
-	}
-	for _, v := range []struct {
-		key  string
-		v, m float64
-	}{{"further", s.RetryRatio, 10}, {"further_sick", s.OverloadedRetryRatio, 10}, {"probes", s.ProbeRatio, 100}, {"node_probes", s.MaxEndpointProbes, 1e6},
-		{"node_least", s.MinEndpointProbes, 1e6}, {"over_share", s.OverShareWeight, 1}, {"goal.whole", s.Goal.Overall, 1e6}, {"goal.worst_class", s.Goal.WorstClass, 1e6}} {
-		if !(v.v >= 0 && v.v <= v.m) {
-			return &SettingError{v.key, fmt.Sprintf("must be in 0..%v", v.m)}
-		}
-	}
-	if s.Instances < 1 {
-		return &SettingError{"instances", "must be at least 1"}
-	}
-	return nil
-}
-
 // Control decides for one instance. Make one with New.
 type Controller struct {
 	settings        Settings
@@ -111,6 +33,21 @@
 	borrowedProbeRate float64 // probes a second that others lend
 }
 
+const (
+	answerTimeWeight     = 0.02
+	initialAnswerSamples = 4 // answers that the first guess of how long they take, a fifth of the aim, counts as
+	endpointRateWeight   = 0.1
+	maxReportFactor      = 4 // times the mean that one report counts as, at most: one that lies must not hide what all serve
+)
+
+// reportSlack is what endpoints' reports may fall short of what they serve: they are averages of a second that is over.
+const reportTolerance = 1.5
+
+const (
+	sharedLevelTTL   = 2 * second // what was told of the others is taken for what holds,
+	sharedLoadWeight = 0.5        // and of their load this part, beside what is seen here meanwhile
+)
+
 // New returns the control of an instance that has just started, or a *SettingError.
 func New(s Settings) (*Controller, error) {
 	if err := s.validate(); err != nil {
@@ -153,9 +90,6 @@
 	return c.retryRatio * float64(c.acceptedFirst.count(now, false)), fleetMax
 }
 
-// reportSlack is what endpoints' reports may fall short of what they serve: they are averages of a second that is over.
-const reportTolerance = 1.5
-
 // Probes returns how many probes a second all instances have together; 0 is that there is no such number.
 func (c *Controller) FleetProbeRate() float64 {
 	return c.settings.MaxEndpointProbes * float64(c.endpoints)
@@ -181,11 +115,6 @@
 	}
 }
 
-const (
-	sharedLevelTTL   = 2 * second // what was told of the others is taken for what holds,
-	sharedLoadWeight = 0.5        // and of their load this part, beside what is seen here meanwhile
-)
-
 // Endpoints tells how many endpoints the instance shares with the others.
 func (c *Controller) SetEndpointCount(n int) { c.endpoints = n }
 
@@ -301,96 +230,6 @@
 	return sum / n
 }
 
-const (
-	answerTimeWeight     = 0.02
-	initialAnswerSamples = 4 // answers that the first guess of how long they take, a fifth of the aim, counts as
-	endpointRateWeight   = 0.1
-	maxReportFactor      = 4 // times the mean that one report counts as, at most: one that lies must not hide what all serve
-)
-
-// Reason says why something is bounded, for logs and figures.
-type Reason uint8
-
-// The reasons.
-const (
-	None               Reason = iota // nothing is
-	EndpointsSaturated               // endpoints' requests take too large a part of their aim
-	AttemptsFailing                  // many attempts fail
-)
-
-// String names the reason.
-func (r Reason) String() string {
-	return [...]string{"none", "endpoints are full", "many attempts fail"}[r]
-}
-
-// Bounds is what is decided, as of an instant.
-type Bounds struct {
-	Level                  float64   // 1: all work goes on; towards 0 ever less does
-	AdmitRatio             []float64 // by class, the part of the requests that goes on
-	ExcessAdmitRatio       []float64 // the same of what tenants ask beyond their share
-	WithinShareRatio       []float64 // by tenant, the part of its requests that lies within its share
-	RepeatAdmitRatio       float64   // of what goes on by that, the part of the requests that say that they repeat an earlier one
-	QueueWaitFraction      []float64 // by class, the part of what its aim leaves that a request may wait at an endpoint
-	FloorQueueWaitFraction float64   // the same of what ranks first, whatever its class,
-	FloorRatio             float64   // which is this part of the requests
-
-	RetryAllowed        bool            // one more further attempt may go out
-	ProbeRate           float64         // probes a second that there is room for
-	ForcedAdmitInterval monotime.Micros // one request of a class may go on against its limit after so long: a wrong guess must not feed itself
-
-	Load          float64 // the part of its aim that a request spends at an endpoint
-	AdmittedRatio float64 // the part of what was asked for that went on lately
-	Reason        Reason
-}
-
-const (
-	// The part of first attempts whose failing makes further ones few: beyond it the others could not serve them all anyway.
-	failingThreshold = 0.3
-	// Below this part of its requests an instance is turning work away.
-	sheddingThreshold = 0.9
-	// Requests a second that may go on against their limits at one endpoint, of all instances together: an eighth or so of
-	// what an endpoint of two cores serves. Were it one for each class and instance, as it is without bounds, at 300 instances
-	// it would be all that they are asked for: that is what the number of instances did harm by.
-	forcedAdmitRate = 4.0
-)
-
-// Bounds returns what holds now. Its lists are the control's own, until its next event.
-func (c *Controller) Bounds(now monotime.Micros) Bounds {
-	admitted := 1.0
-	if n := c.workOffered.rate(now); n > 0 {
-		admitted = min(1, c.workAdmitted.rate(now)/n)
-	}
-	b := Bounds{Level: c.level.value, Load: c.level.load, AdmittedRatio: admitted, ProbeRate: c.probeLimits(now).total()}
-	b.AdmitRatio, b.ExcessAdmitRatio = c.shedding.ratios(b.Level, c.answerTimes)
-	b.RepeatAdmitRatio = repeatRatio(b.Level)
-	b.QueueWaitFraction, b.FloorQueueWaitFraction, b.FloorRatio = c.shedding.queueWaits, floorQueueWait, c.shedding.floorRatio
-	b.WithinShareRatio = c.shedding.shareRatios(now, c.tenantDemand)
-	b.ForcedAdmitInterval = max(second, monotime.Micros(float64(len(c.settings.Classes)*c.settings.Instances)/(forcedAdmitRate*float64(max(1, c.endpoints)))*float64(second)))
-	ratio := c.settings.RetryRatio
-	endedRate := c.endedFirst.rate(now)
-	switch {
-	case c.level.saturated() || admitted < sheddingThreshold:
-		b.Reason, ratio = EndpointsSaturated, c.settings.OverloadedRetryRatio
-	case endedRate >= 1 && 1-c.servedFirst.rate(now)/endedRate > failingThreshold:
-		b.Reason, ratio = AttemptsFailing, c.settings.OverloadedRetryRatio
-	}
-	c.retryRatio = ratio
-	c.startSecond(now)
-	b.RetryAllowed = c.RetryAllowed(now)
-	return b
-}
-
-// Further says whether one more further attempt is within what the instance has by itself.
-func (c *Controller) RetryAllowed(now monotime.Micros) bool {
-	c.startSecond(now)
-	return c.retries.allows(now, c.retryLimit(now))
-}
-
-// furtherMost is how many further attempts the latest second has earned.
-func (c *Controller) retryLimit(now monotime.Micros) float64 {
-	return c.local.further * c.retryRatio * float64(c.acceptedFirst.count(now, false))
-}
-
 // roll settles what a second that begins has.
 func (c *Controller) startSecond(now monotime.Micros) {
 	if now/second == c.retries.currentSecond {
@@ -401,33 +240,3 @@
 	c.earnedProbes.start(now, r.maxEarnedRate)
 	c.discoveryProbes.start(now, r.minRate)
 }
-
-// Probe says whether a probe may go out, and takes it out of the budget: of what the instance has by itself, or else of what
-// lent takes of what others lend; nil lends nothing.
-func (c *Controller) TakeProbe(now monotime.Micros, borrow func() bool) bool {
-	c.startSecond(now)
-	switch {
-	case c.discoveryProbes.allows(now, math.Inf(1)):
-		c.discoveryProbes.sent.add(now)
-	case c.probeTokens.tokens < 1:
-		return false
-	case c.earnedProbes.allows(now, math.Inf(1)):
-		c.earnedProbes.sent.add(now)
-		c.probeTokens.take()
-	case borrow != nil && borrow():
-		c.probeTokens.take()
-	default:
-		return false
-	}
-	return true
-}
-
-// rates returns what probes are bounded by.
-func (c *Controller) probeLimits(now monotime.Micros) probeLimits {
-	limits := probeLimits{ratio: c.settings.ProbeRatio, servedRate: c.servedFirst.rate(now), minRate: c.settings.MinEndpointProbes * float64(c.endpoints) / float64(c.settings.Instances), maxEarnedRate: math.Inf(1), borrowedRate: c.borrowedProbeRate}
-	// The own part of the fleet's load: what is served to this instance, of what endpoints say that they serve to all.
-	if fleetRate := c.endpointRate.valueOr(0) * float64(c.endpoints); c.settings.MaxEndpointProbes > 0 && fleetRate > 0 {
-		limits.maxEarnedRate = c.local.probes * max(0, c.settings.MaxEndpointProbes-c.settings.MinEndpointProbes) * float64(c.endpoints) * min(1, limits.servedRate/fleetRate)
-	}
-	return limits
-}
--- a/internal/decide/overload/level.go
+++ b/internal/decide/overload/level.go
@@ -6,27 +6,6 @@
 	"dunlinsail/internal/monotime"
 )
 
-// level is the part of a mix of work that goes on (order.go). It rises by a step for each request that is asked for and falls
-// by a part of itself for each that went on in vain: turned away by the balancer, by an endpoint, or answered too late. What
-// goes on in vain depends on the endpoints' queues, which are the same for all instances; so a high level falls by more than
-// a low one, and any two come to the same (additive increase, multiplicative decrease: Chiu and Jain 1989). The queues
-// themselves are held by the balancer's limits, request by request; the level only has to find which part of the work those
-// need not turn away. That part is a property of demand and capacity and does not move with the queues, so that evidence
-// which is seconds old steers it without swinging (docs/design/overload.md).
-type admissionLevel struct {
-	value         float64
-	requestAt     monotime.Micros // of the latest request
-	requestWeight float64         // the part of a second that it counts as
-
-	sharedUntil monotime.Micros // until then it goes by all instances' (Others): its own requests do not move it
-	requests    int             // requests since they were told of,
-	failed      int             // and such as went on in vain
-
-	load      float64 // the part of its aim that a request spends at an endpoint: mean of recent samples
-	sampledAt monotime.Micros
-	samples   int
-}
-
 const (
 	// A second's steps up, and for a second in which all went on in vain the part down. Where they meet, up/(down*level) of
 	// what is asked for goes on in vain: 7% at half of the work. What other values come to stands in docs/design/overload.md.
@@ -52,6 +31,27 @@
 	maxLoadWeight = 0.1    // but one of them moves the mean by so much at most: who has few goes by as many, if over longer
 )
 
+// level is the part of a mix of work that goes on (order.go). It rises by a step for each request that is asked for and falls
+// by a part of itself for each that went on in vain: turned away by the balancer, by an endpoint, or answered too late. What
+// goes on in vain depends on the endpoints' queues, which are the same for all instances; so a high level falls by more than
+// a low one, and any two come to the same (additive increase, multiplicative decrease: Chiu and Jain 1989). The queues
+// themselves are held by the balancer's limits, request by request; the level only has to find which part of the work those
+// need not turn away. That part is a property of demand and capacity and does not move with the queues, so that evidence
+// which is seconds old steers it without swinging (docs/design/overload.md).
+type admissionLevel struct {
+	value         float64
+	requestAt     monotime.Micros // of the latest request
+	requestWeight float64         // the part of a second that it counts as
+
+	sharedUntil monotime.Micros // until then it goes by all instances' (Others): its own requests do not move it
+	requests    int             // requests since they were told of,
+	failed      int             // and such as went on in vain
+
+	load      float64 // the part of its aim that a request spends at an endpoint: mean of recent samples
+	sampledAt monotime.Micros
+	samples   int
+}
+
 // see takes a sample in of the part of its aim that a request spends at an endpoint.
 func (l *admissionLevel) addSample(now monotime.Micros, load float64) {
 	if !(load >= 0) {
@@ -88,34 +88,3 @@
 		l.value = max(minLevel, l.value-l.requestWeight*decreasePerSecond*l.value)
 	}
 }
-
-// Joint is the level of all instances together, kept by one of them from what all tell it. What many ask for is met by it as one
-// instance's is by its own level, and no instance's few requests move it. Make one with NewJoint.
-type SharedLevel struct {
-	value     float64
-	updatedAt monotime.Micros
-}
-
-// NewJoint returns one that begins at what instances are at.
-func NewSharedLevel(now monotime.Micros, level float64) *SharedLevel {
-	return &SharedLevel{value: min(1, max(minLevel, level)), updatedAt: now}
-}
-
-// jointDown is down of a joint level. What it is told is up to half a second old, and the queues answer to what it lets in at
-// once: beyond a gain of about three a second it would swing.
-const sharedDecreasePerSecond = 2.0
-
-// Move moves the level by the requests that came since it was moved last, of which a part went on in vain, and returns it.
-func (j *SharedLevel) Update(now monotime.Micros, requests, failed, load float64) float64 {
-	weight := min(1, float64(max(0, now-j.updatedAt))/float64(second))
-	j.updatedAt = now
-	rise := increasePerSecond
-	if load < idleLoad {
-		rise = idleIncreasePerSecond
-	}
-	j.value = min(1, j.value+weight*rise)
-	if requests > 0 {
-		j.value = max(minLevel, j.value-weight*sharedDecreasePerSecond*j.value*min(1, failed/requests))
-	}
-	return j.value
-}
--- a/internal/decide/overload/order.go
+++ b/internal/decide/overload/shedding.go
@@ -6,6 +6,24 @@
 	"dunlinsail/internal/monotime"
 )
 
+// Limits on what a request may wait at an endpoint, as parts of what its aim leaves beyond its time there alone. Those of
+// the classes are spread evenly by rank, so that where too much went on for a moment what is worth least is turned away.
+const (
+	maxQueueWait   = 0.8  // of the class that ranks first: what is shed before it keeps the queues below that
+	floorQueueWait = 0.35 // at least, of the part of every class that the goal has served whatever its worth
+	minQueueWait   = 0.15 // of the class that ranks last: in calm hardly any waits for so long
+)
+
+const repeatThreshold = 0.8
+
+// anew is after how many looks the order is made anew: how long answers take changes slowly.
+const rankInterval = 256
+
+const (
+	minAllowanceLoad = 0.05 // part of all allowances that an instance must carry to judge of shares: less is a mix of its own
+	shareTolerance   = 1.25 // what the mix of two seconds strays by
+)
+
 // order says what a level means for each class. The level is a part of a mix that is the same for all instances, one in
 // which every class has as much work as the others, and not of the own one: at the same level all instances turn the same
 // classes away, also one that is asked for nothing but bookings. What a level lets in of the real mix the loop finds by
@@ -42,9 +60,6 @@
 	return o.settings.OverShareWeight < 1 && len(o.settings.Tenants) > 1
 }
 
-// anew is after how many looks the order is made anew: how long answers take changes slowly.
-const rankInterval = 256
-
 // parts returns, by class, the part of the requests that goes on at a level, within their tenants' shares and beyond.
 func (o *sheddingOrder) ratios(level float64, answerTimes []movingAverage) (admit, excess []float64) {
 	if o.callsSinceRank++; len(o.groups) == 0 || o.callsSinceRank >= rankInterval {
@@ -111,22 +126,12 @@
 	}
 }
 
-// Limits on what a request may wait at an endpoint, as parts of what its aim leaves beyond its time there alone. Those of
-// the classes are spread evenly by rank, so that where too much went on for a moment what is worth least is turned away.
-const (
-	maxQueueWait   = 0.8  // of the class that ranks first: what is shed before it keeps the queues below that
-	floorQueueWait = 0.35 // at least, of the part of every class that the goal has served whatever its worth
-	minQueueWait   = 0.15 // of the class that ranks last: in calm hardly any waits for so long
-)
-
 // again is the part of the repeats that go on at a level: none once a fifth is shed. A client that asks again has lost a part of
 // its aim by then, and each that is served late is work for nothing; what is shed of first tries beside it was in time.
 func repeatRatio(level float64) float64 {
 	return max(0, min(1, (level-repeatThreshold)/(1-repeatThreshold)))
 }
 
-const repeatThreshold = 0.8
-
 // floor returns the part of every bucket that is served whatever its worth, and what of the level is left beyond that. The
 // goal's gain is linear between the corners where the rest fills whole buckets, so that one of those is the best.
 func (o *sheddingOrder) bestFloor(level float64) (floor, rest float64) {
@@ -182,8 +187,3 @@
 	}
 	return o.withinShare
 }
-
-const (
-	minAllowanceLoad = 0.05 // part of all allowances that an instance must carry to judge of shares: less is a mix of its own
-	shareTolerance   = 1.25 // what the mix of two seconds strays by
-)
--- a/internal/decide/overload/budget.go
+++ b/internal/decide/overload/window.go
@@ -1,8 +1,6 @@
 package overload
 
 import (
-	"math"
-
 	"dunlinsail/internal/monotime"
 )
 
@@ -29,14 +27,14 @@
 	return float64(q.sent.count(now, true))+seededFraction(q.seed, uint64(now/second)+1) < min(q.limit, upperBound)
 }
 
+const bucketsPerSecond = 10
+
 // window counts what came within so many tenths of the latest seconds, the present one included.
 type slidingWindow struct {
 	buckets [bucketsPerSecond + 1]int
 	head    monotime.Micros
 }
 
-const bucketsPerSecond = 10
-
 func (w *slidingWindow) advance(now monotime.Micros) *int {
 	bucket := now / (second / bucketsPerSecond)
 	n := monotime.Micros(len(w.buckets))
@@ -65,82 +63,6 @@
 	return n
 }
 
-// purse is what probes are earned by: a part of one for each first attempt that was accepted. Neither refusals nor repeats
-// fill it.
-type probeBucket struct{ tokens float64 }
-
-// rates are what probes are bounded by.
-type probeLimits struct {
-	ratio         float64 // of a probe for each first attempt accepted
-	servedRate    float64 // of these, a second
-	minRate       float64 // probes a second beside that
-	maxEarnedRate float64 // of those that are earned, a second; infinite is no bound
-	borrowedRate  float64 // beside those
-}
-
-// rate is how many probes a second there is room for.
-func (r probeLimits) total() float64 {
-	return min(r.ratio*r.servedRate, r.maxEarnedRate+r.borrowedRate) + r.minRate
-}
-
-const (
-	probeBucketSpan = second / 2 // for so long what was earned is kept: probes need not go in step with answers
-	minProbeBucket  = 3          // and so many at least: what two draws for a request need, and one beside them
-)
-
-func (p *probeBucket) earn(limits probeLimits) {
-	p.tokens = min(p.tokens+limits.ratio, max(minProbeBucket, limits.ratio*limits.servedRate*float64(probeBucketSpan)/float64(second)))
-}
-
-func (p *probeBucket) take() bool {
-	if p.tokens < 1 {
-		return false
-	}
-	p.tokens--
-	return true
-}
-
-// meter is a rate a second, averaged over about two seconds.
-type decayingRate struct {
-	sum       float64
-	updatedAt monotime.Micros
-}
-
-func (m *decayingRate) decayed(now monotime.Micros) float64 {
-	if m.sum == 0 {
-		return 0
-	}
-	return m.sum * math.Exp(-float64(max(0, now-m.updatedAt))/float64(decaySpan))
-}
-
-func (m *decayingRate) add(now monotime.Micros, amount float64) {
-	m.sum, m.updatedAt = m.decayed(now)+amount, now
-}
-
-func (m *decayingRate) rate(now monotime.Micros) float64 {
-	return m.decayed(now) * float64(second) / float64(decaySpan)
-}
-
-const decaySpan = 2 * second
-
-// mean is a moving average that begins as a plain mean: taken whole, one odd first sample would steer for long.
-type movingAverage struct {
-	value   float64
-	samples float64 // samples
-}
-
-func (m *movingAverage) add(sample, weight float64) {
-	m.samples++
-	m.value += (sample - m.value) * max(weight, 1/m.samples)
-}
-
-func (m *movingAverage) valueOr(other float64) float64 {
-	if m.samples > 0 {
-		return m.value
-	}
-	return other
-}
-
 // draw is a number in 0..1 that a seed and a number give, without order (SplitMix64).
 func seededFraction(seed, n uint64) float64 {
 	z := seed + 0x9e3779b97f4a7c15*(n+1)
