--- a/internal/decide/concurrency/baseline.go
+++ b/internal/decide/concurrency/baseline.go
@@ -7,66 +7,85 @@
 )
 
 const (
-	minWindow              = second / 10 // a window is judged after so long at the soonest,
-	minWindowSamples       = 30          // and so many samples, or as many as the limit
-	growWaiting            = 0.4         // the limit grows while fewer requests wait than this and a part of it,
-	shrinkWaiting          = 0.8         // and shrinks while more than this and a larger part:
-	defaultGrowThreshold   = 1.0 / 4     // at endpoints that are at work for seven tenths of their time, which is well, about so many wait
-	defaultShrinkThreshold = 1.0 / 2.5   // by chance alone
-	unloadedDivisor        = 4           // a request that goes out with no more in flight than such a part of the limit is alone
-	baselineSamples        = 24          // samples that make a measurement of what requests take alone
-	minClassSamples        = 6           // of one class, to go by them alone
-	baselineWeight         = 0.05
-	measureInterval        = 15 * second // without such samples for so long, the limit is lowered to get some,
-	measureDuration        = second      // for no longer than this
-	maxSampleRatio         = 4.0         // one request counts as no more than this many times what it takes alone
+	unloadedDivisor = 4  // a request counts as alone if no more were in flight than this part of the limit
+	baselineSamples = 24 // samples that make a measurement,
+	minClassSamples = 6  // and of one class, for its baseline to be replaced
+	baselineWeight  = 0.05
+
+	measureInterval = 15 * second // without enough unloaded samples for this time the limit is lowered to get some,
+	measureDuration = second      // for no longer than this
 )
 
-// alone is what a class's requests take with hardly any others in flight.
+// baseline is what a class's requests take with hardly any others in flight.
 type baseline struct {
-	mean    float64
+	mean    float64 // in microseconds
 	samples int
 
 	measuredSum     float64 // of the present measurement
 	measuredSamples int
 }
 
-// begin lowers the limit for a measurement.
+// addUnloadedSample takes in a request that was alone while the limit is not lowered. Enough of them make a measurement
+// unnecessary.
+func (l *Limiter) addUnloadedSample(now monotime.Micros, base *baseline, took monotime.Micros) {
+	base.samples++
+	base.mean += (float64(took) - base.mean) * max(baselineWeight, 1/float64(base.samples))
+	l.unloadedSamples++
+	if l.unloadedSamples >= baselineSamples {
+		l.unloadedSamples = 0
+		l.nextMeasurement = l.scheduleMeasurement(now)
+	}
+}
+
+// startMeasurement lowers the limit for a measurement.
 func (l *Limiter) startMeasurement(now monotime.Micros) {
-	l.measuring, l.unloadedSamples, l.measureUntil = true, 0, now+measureDuration
+	l.measuring = true
+	l.unloadedSamples = 0
+	l.measureUntil = now + measureDuration
 	for i := range l.baselines {
-		l.baselines[i].measuredSum, l.baselines[i].measuredSamples = 0, 0
+		l.baselines[i].measuredSum = 0
+		l.baselines[i].measuredSamples = 0
 	}
 }
 
-// measure takes a sample while the limit is lowered. What went out before, with more in flight, does not count.
-func (l *Limiter) addBaselineSample(now monotime.Micros, a *baseline, took monotime.Micros, inFlight int) {
+// addBaselineSample takes in a request while the limit is lowered. Requests that were sent before, with more in
+// flight, do not count.
+func (l *Limiter) addBaselineSample(now monotime.Micros, base *baseline, took monotime.Micros, inFlight int) {
 	if l.measureUntil == math.MaxInt64 {
 		l.measureUntil = now + measureDuration // the first sample of all
 	}
 	if inFlight <= l.Limit() {
-		a.measuredSum += float64(took)
-		a.measuredSamples++
+		base.measuredSum += float64(took)
+		base.measuredSamples++
 		l.unloadedSamples++
 	}
 	if l.unloadedSamples < baselineSamples && now < l.measureUntil {
 		return
 	}
 	for i := range l.baselines {
-		if a := &l.baselines[i]; a.measuredSamples >= minClassSamples || a.measuredSamples > 0 && a.samples == 0 {
-			a.mean, a.samples = a.measuredSum/float64(a.measuredSamples), a.measuredSamples
+		b := &l.baselines[i]
+		if b.measuredSamples >= minClassSamples || b.measuredSamples > 0 && b.samples == 0 {
+			b.mean = b.measuredSum / float64(b.measuredSamples)
+			b.samples = b.measuredSamples
 		}
 	}
-	l.measuring, l.unloadedSamples, l.nextMeasurement = false, 0, l.scheduleMeasurement(now)
+	l.endMeasurement(now)
+}
+
+// endMeasurement restores the limit and starts a window.
+func (l *Limiter) endMeasurement(now monotime.Micros) {
+	l.measuring = false
+	l.unloadedSamples = 0
+	l.nextMeasurement = l.scheduleMeasurement(now)
 	l.resetWindow(now)
 }
 
-// next is when to measure again.
+// scheduleMeasurement returns when to measure again, with jitter.
 func (l *Limiter) scheduleMeasurement(now monotime.Micros) monotime.Micros {
 	return now + measureInterval + l.randomBelow(measureInterval/4)
 }
 
-// below returns a duration in [0,d) (SplitMix64).
+// randomBelow returns a duration in [0,d) (SplitMix64).
 func (l *Limiter) randomBelow(d monotime.Micros) monotime.Micros {
 	l.randState += 0x9e3779b97f4a7c15
 	z := l.randState
--- a/internal/decide/concurrency/limiter.go
+++ b/internal/decide/concurrency/limiter.go
@@ -7,41 +7,65 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Limit is the number of requests that may be in flight. Make one with New.
+const (
+	minWindow        = second / 10 // a window is evaluated after this time at the earliest,
+	minWindowSamples = 30          // and after as many samples, or as many as the limit
+
+	// The limit grows while fewer requests wait than growWaiting and GrowThreshold of the limit, and shrinks
+	// while more wait than shrinkWaiting and ShrinkThreshold of it. At endpoints that are busy for seven tenths
+	// of the time, which is healthy, about as many wait by chance as the default thresholds say.
+	growWaiting            = 0.4
+	shrinkWaiting          = 0.8
+	defaultGrowThreshold   = 1.0 / 4
+	defaultShrinkThreshold = 1.0 / 2.5
+
+	maxSampleRatio = 4.0 // one request counts as at most this many times its baseline
+)
+
+// Limiter is an adaptive limit on the requests in flight. Make one with New; it is for one goroutine at a time.
 type Limiter struct {
 	settings  Settings
 	randState uint64
 	limit     float64
-	doubling  bool // it has never been too high: it doubles
+	doubling  bool // the limit was never too high, and grows by half (slow start)
 
 	baselines []baseline // by class
 
 	// The present window.
-	windowStart          monotime.Micros
-	samples              int
-	timeSum, baselineSum float64
-	limitReached         bool // the limit was reached
+	windowStart  monotime.Micros
+	samples      int
+	timeSum      float64 // of the samples, in microseconds
+	baselineSum  float64 // of their classes' baselines
+	limitReached bool
 
-	// Measuring what requests take alone.
-	measuring       bool
+	// The measurement of baselines.
+	measuring       bool // the limit is lowered
 	measureUntil    monotime.Micros
-	unloadedSamples int
-	nextMeasurement monotime.Micros // when to measure again, unless that happens by itself
+	unloadedSamples int             // since the last measurement, or of the present one
+	nextMeasurement monotime.Micros // unless enough unloaded samples come by themselves
 }
 
-// New returns a limit, or the error of settings that make no sense.
+// New returns a limiter that first measures the baselines, or the error of settings that are invalid.
 func New(s Settings) (*Limiter, error) {
 	if err := s.Validate(); err != nil {
 		return nil, fmt.Errorf("limit: %w", err)
 	}
 	if s.GrowThreshold == 0 {
-		s.GrowThreshold, s.ShrinkThreshold = defaultGrowThreshold, defaultShrinkThreshold
+		s.GrowThreshold = defaultGrowThreshold
+		s.ShrinkThreshold = defaultShrinkThreshold
 	}
-	return &Limiter{settings: s, randState: s.Seed, limit: float64(s.Initial), doubling: true, baselines: make([]baseline, s.Classes),
-		measuring: true, measureUntil: math.MaxInt64}, nil
+	return &Limiter{
+		settings:     s,
+		randState:    s.Seed,
+		limit:        float64(s.Initial),
+		doubling:     true,
+		baselines:    make([]baseline, s.Classes),
+		measuring:    true,
+		measureUntil: math.MaxInt64,
+	}, nil
 }
 
-// Value returns how many requests may be in flight now.
+// Limit returns how many requests may be in flight now.
 func (l *Limiter) Limit() int {
 	if l.measuring {
 		return max(l.settings.Min, int(l.limit/unloadedDivisor))
@@ -49,28 +73,24 @@
 	return int(l.limit)
 }
 
-// Sample tells of a request that was served: how long it took, how many were in flight when it went out, itself
-// included, and whether any has had to wait for its turn meanwhile.
+// AddSample takes in a request that was served: how long it took, how many were in flight when it was sent, itself
+// included, and whether any request has waited for admission meanwhile.
 func (l *Limiter) AddSample(now monotime.Micros, class int, took monotime.Micros, inFlight int, waited bool) {
-	a := &l.baselines[class]
+	base := &l.baselines[class]
 	if l.measuring {
-		l.addBaselineSample(now, a, took, inFlight)
+		l.addBaselineSample(now, base, took, inFlight)
 		return
 	}
 	if now >= l.nextMeasurement {
 		l.startMeasurement(now)
 		return
 	}
-	if a.samples == 0 || inFlight <= max(1, int(l.limit/unloadedDivisor)) {
-		a.samples++
-		a.mean += (float64(took) - a.mean) * max(baselineWeight, 1/float64(a.samples))
-		if l.unloadedSamples++; l.unloadedSamples >= baselineSamples { // it happens by itself
-			l.unloadedSamples, l.nextMeasurement = 0, l.scheduleMeasurement(now)
-		}
+	if base.samples == 0 || inFlight <= max(1, int(l.limit/unloadedDivisor)) {
+		l.addUnloadedSample(now, base, took)
 	}
 	l.samples++
-	l.timeSum += min(float64(took), maxSampleRatio*a.mean)
-	l.baselineSum += a.mean
+	l.timeSum += min(float64(took), maxSampleRatio*base.mean)
+	l.baselineSum += base.mean
 	l.limitReached = l.limitReached || waited || inFlight >= int(l.limit)
 	if now-l.windowStart >= minWindow && l.samples >= max(minWindowSamples, int(l.limit)) {
 		l.adjust()
@@ -78,7 +98,7 @@
 	}
 }
 
-// Learned returns the limit and how long requests of each class take alone, zero where that is not known.
+// Learned returns the limit, and the baseline of each class in microseconds, zero where it is not known.
 func (l *Limiter) Learned() (limit float64, baselines []float64) {
 	for i := range l.baselines {
 		baselines = append(baselines, l.baselines[i].mean)
@@ -86,29 +106,31 @@
 	return l.limit, baselines
 }
 
-// Restore takes over what another had learned: there is nothing to be measured first. What makes no sense, or is
-// not known of every class, is passed over.
+// Restore sets what another limiter has learned, so that nothing need be measured first. Values that are
+// invalid, or that lack a class, are ignored.
 func (l *Limiter) Restore(now monotime.Micros, limit float64, baselines []float64) {
-	ok := limit >= 1 && !math.IsInf(limit, 0) && len(baselines) == len(l.baselines)
-	for _, a := range baselines {
-		ok = ok && a > 0 && !math.IsInf(a, 0)
+	valid := limit >= 1 && !math.IsInf(limit, 0) && len(baselines) == len(l.baselines)
+	for _, mean := range baselines {
+		valid = valid && mean > 0 && !math.IsInf(mean, 0)
 	}
-	if !ok {
+	if !valid {
 		return
 	}
-	for i, a := range baselines {
-		l.baselines[i].mean, l.baselines[i].samples = a, baselineSamples
+	for i, mean := range baselines {
+		l.baselines[i].mean = mean
+		l.baselines[i].samples = baselineSamples
 	}
 	l.limit = min(float64(l.settings.Max), max(float64(l.settings.Min), limit))
-	l.doubling, l.measuring, l.unloadedSamples, l.nextMeasurement = false, false, 0, l.scheduleMeasurement(now)
-	l.resetWindow(now)
+	l.doubling = false
+	l.endMeasurement(now)
 }
 
-// judge moves the limit by what the window showed.
+// adjust moves the limit by what the window showed.
 func (l *Limiter) adjust() {
 	ratio := max(1, l.timeSum/l.baselineSum)
 	waiting := l.limit * (1 - 1/ratio)
-	growBelow, shrinkAbove := growWaiting+l.settings.GrowThreshold*l.limit, shrinkWaiting+l.settings.ShrinkThreshold*l.limit
+	growBelow := growWaiting + l.settings.GrowThreshold*l.limit
+	shrinkAbove := shrinkWaiting + l.settings.ShrinkThreshold*l.limit
 	switch {
 	case waiting > shrinkAbove:
 		l.doubling = false
@@ -123,6 +145,11 @@
 	l.limit = min(float64(l.settings.Max), max(float64(l.settings.Min), l.limit))
 }
 
+// resetWindow starts a new window.
 func (l *Limiter) resetWindow(now monotime.Micros) {
-	l.windowStart, l.samples, l.timeSum, l.baselineSum, l.limitReached = now, 0, 0, 0, false
+	l.windowStart = now
+	l.samples = 0
+	l.timeSum = 0
+	l.baselineSum = 0
+	l.limitReached = false
 }
--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -1,15 +1,17 @@
-// Package connlimit decides which of its clients' connections a server keeps. It knows connections, who owns
-// them and which of them have an open request; it knows nothing of sockets, and closes none itself: what it
-// returns is for its host to close. It is a deterministic state machine for one caller at a time.
+// Package connlimit decides which of its clients' connections a server keeps open. It goes by connections,
+// their owners and which of them have an open request; it must not import sockets, and closes none itself: the
+// caller closes the connections that are returned as evicted or expired.
 //
-// Two bounds are kept apart. Connections with an open request are work in progress, and may take what the
-// descriptors allow. Those without one are a convenience that is only worth having in small numbers: a client
-// process may itself hold only so many descriptors, and where those are spent on connections that asked once
-// and stayed, it can open none to ask anew. So the bound on connections at rest is far tighter, and the time
-// for which one may rest shrinks as that bound is neared.
+// There are two separate limits. Connections with an open request are work in progress, and may use as many
+// descriptors as there are. Idle connections are a convenience that is worth having in small numbers only: a
+// client process can open only so many descriptors itself, and if those are used by connections that were
+// opened once and kept, it cannot open another to send a request. So the limit on idle connections is far
+// lower, and the idle timeout shrinks as it is neared.
 //
-// A connection that seems to rest may have a request on its way through the host: come, and not yet taken. To close
-// it would lose that request, so the host is asked first.
+// A connection that seems idle may have a request on its way through the operating system: arrived, but not
+// read. Closing it would lose that request, so the caller is asked to confirm first.
+//
+// A Table is a deterministic state machine for one goroutine at a time.
 package connlimit
 
 import (
@@ -19,17 +21,18 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Limits are the bounds of a Table. All must be positive but IdleLeast.
+// Limits are the limits of a Table. All must be positive but MinIdleTime.
 type Limits struct {
-	MaxConnections int // connections in all
-	MaxIdle        int // those without an open request
+	MaxConnections int // in all
+	MaxIdle        int // without an open request
 
-	// A connection may rest for IdleMost while no other rests, and for IdleLeast when AtRest are resting; in
-	// between the time falls evenly.
-	MaxIdleTime, MinIdleTime monotime.Micros
+	// A connection may be idle for MaxIdleTime if no other is, and for MinIdleTime if MaxIdle are; in between
+	// the time falls linearly.
+	MaxIdleTime monotime.Micros
+	MinIdleTime monotime.Micros
 }
 
-// Validate says which bound makes no sense.
+// Validate returns the error of the first limit that is invalid.
 func (l Limits) Validate() error {
 	switch {
 	case l.MaxConnections < 1:
@@ -42,30 +45,30 @@
 	return nil
 }
 
-// Owner is whose connections are counted together.
+// Owner is a client whose connections are counted together. Make one with Table.NewOwner.
 type Owner[T any] struct {
 	weight         float64
 	maxConnections int
-	maxBytes       int64 // that its requests and answers may hold; 0 is no bound
+	maxBytes       int64 // of its requests and answers in memory; 0 is no limit
 	reservedBytes  int64
 	busy           int
-	idle           *list.List // of *Conn[T], the one that has rested for longest first
-	index          int        // in Table.owners while any rests
+	idle           *list.List // of *Conn[T], the one that was idle longest first
+	index          int        // in Table.idleOwners while any is idle
 }
 
-// Conns returns how many connections o has, and how many of them have an open request.
+// Connections returns how many connections the owner has, and how many of them have an open request.
 func (o *Owner[T]) Connections() (all, busy int) { return o.busy + o.idle.Len(), o.busy }
 
-// Held returns how many bytes are held for o.
+// ReservedBytes returns how many bytes are reserved for the owner.
 func (o *Owner[T]) ReservedBytes() int64 { return o.reservedBytes }
 
 // Conn is a connection in a Table.
 type Conn[T any] struct {
-	Value T // the host's
+	Value T // the caller's
 
 	owner         *Owner[T]
 	reservedBytes int64
-	idleSince     monotime.Micros // at rest since
-	idleElement   *list.Element   // in owner.resting; nil while a request is open
-	removed       bool            // the table holds it no more
+	idleSince     monotime.Micros
+	idleElement   *list.Element // in owner.idle; nil while a request is open
+	removed       bool          // from the table
 }
--- a/internal/decide/connlimit/eviction.go
+++ b/internal/decide/connlimit/eviction.go
@@ -1,63 +1,82 @@
 package connlimit
 
-import (
-	"dunlinsail/internal/monotime"
-)
+import "dunlinsail/internal/monotime"
 
-// Spare returns the connection that can best be done without, nil if each has an open request: of the owner
-// with the most at rest for its weight, the one that has rested for longest.
+// Evictable returns the idle connection to evict first, nil if each has an open request: of the owner with the
+// most idle connections for its weight, the one that was idle longest.
 func (t *Table[T]) Evictable() *Conn[T] {
 	for {
-		best := t.evictionCandidate()
-		if best == nil || t.confirmIdle(best.Value) {
-			return best
+		candidate := t.evictionCandidate()
+		if candidate == nil || t.confirmIdle(candidate.Value) {
+			return candidate
 		}
-		t.MarkBusy(best)
+		t.MarkBusy(candidate)
 	}
 }
 
+// evictableOf returns an owner's connection that was idle longest, nil if each has an open request.
+func (t *Table[T]) evictableOf(o *Owner[T]) *Conn[T] {
+	for {
+		candidate := t.longestIdle(o)
+		if candidate == nil || t.confirmIdle(candidate.Value) {
+			return candidate
+		}
+		t.MarkBusy(candidate)
+	}
+}
+
+// evictionCandidate returns what Evictable does, not confirmed.
 func (t *Table[T]) evictionCandidate() *Conn[T] {
 	var best *Conn[T]
 	var maxIdleRatio float64
 	for _, o := range t.idleOwners {
-		c, n := t.longestIdle(o), float64(o.idle.Len())/o.weight
-		if best == nil || n > maxIdleRatio || n == maxIdleRatio && c.idleSince < best.idleSince {
-			best, maxIdleRatio = c, n
+		c := t.longestIdle(o)
+		ratio := float64(o.idle.Len()) / o.weight
+		if best == nil || ratio > maxIdleRatio || ratio == maxIdleRatio && c.idleSince < best.idleSince {
+			best = c
+			maxIdleRatio = ratio
 		}
 	}
 	return best
 }
 
-// Expired returns a connection that has rested for too long and forgets it, or nil and the instant at which
-// the next one will have, if nothing happens until then; that is 0 while none rests.
+// RemoveExpired removes and returns a connection that was idle for too long. If there is none it returns nil and the
+// instant at which the next one expires unless something happens before; 0 while none is idle.
 func (t *Table[T]) RemoveExpired(now monotime.Micros) (expired *Conn[T], next monotime.Micros) {
 	for {
-		expired = nil
-		for _, o := range t.idleOwners {
-			if c := t.longestIdle(o); expired == nil || c.idleSince < expired.idleSince {
-				expired = c
-			}
-		}
-		if expired == nil {
+		oldest := t.oldestIdle()
+		if oldest == nil {
 			return nil, 0
 		}
-		if idle := t.idleTimeout(); expired.idleSince+idle > now {
-			return nil, expired.idleSince + idle
+		if timeout := t.idleTimeout(); oldest.idleSince+timeout > now {
+			return nil, oldest.idleSince + timeout
 		}
-		if t.confirmIdle(expired.Value) {
-			t.Remove(expired)
-			return expired, 0
+		if t.confirmIdle(oldest.Value) {
+			t.Remove(oldest)
+			return oldest, 0
+		}
+		t.MarkBusy(oldest)
+	}
+}
+
+// oldestIdle returns the connection of any owner that was idle longest, nil if there is none.
+func (t *Table[T]) oldestIdle() *Conn[T] {
+	var oldest *Conn[T]
+	for _, o := range t.idleOwners {
+		if c := t.longestIdle(o); oldest == nil || c.idleSince < oldest.idleSince {
+			oldest = c
 		}
-		t.MarkBusy(expired)
 	}
+	return oldest
 }
 
-// idle is how long a connection may rest at present.
+// idleTimeout is how long a connection may be idle at present.
 func (t *Table[T]) idleTimeout() monotime.Micros {
 	free := 1 - float64(t.idle)/float64(t.limits.MaxIdle)
 	return t.limits.MinIdleTime + monotime.Micros(free*float64(t.limits.MaxIdleTime-t.limits.MinIdleTime))
 }
 
+// longestIdle returns an owner's connection that was idle longest, nil if there is none.
 func (t *Table[T]) longestIdle(o *Owner[T]) *Conn[T] {
 	if first := o.idle.Front(); first != nil {
 		return first.Value.(*Conn[T])
@@ -65,7 +84,7 @@
 	return nil
 }
 
-// lay puts c among those at rest.
+// addIdle adds a connection to the idle ones.
 func (t *Table[T]) addIdle(now monotime.Micros, c *Conn[T]) {
 	c.idleSince = now
 	o := c.owner
@@ -77,7 +96,7 @@
 	t.idle++
 }
 
-// lift takes c from among those at rest.
+// removeIdle removes a connection from the idle ones.
 func (t *Table[T]) removeIdle(c *Conn[T]) {
 	o := c.owner
 	o.idle.Remove(c.idleElement)
--- a/internal/decide/connlimit/table.go
+++ b/internal/decide/connlimit/table.go
@@ -8,19 +8,19 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Table holds the connections of a server. Make one with New.
+// Table holds the connections of a server. Make one with New; it is for one goroutine at a time.
 type Table[T any] struct {
 	limits      Limits
 	confirmIdle func(T) bool
-	idleOwners  []*Owner[T] // those with connections at rest
+	idleOwners  []*Owner[T] // those with idle connections
 	busy        int
 	idle        int
 	connections map[*Conn[T]]struct{}
 }
 
-// New returns an empty table, or the error of limits that make no sense. rests is asked before a connection without an
-// open request is closed: if it says no, something has come that has not been looked at, and the connection counts as one
-// with an open request from then on. nil is always yes.
+// New returns an empty table, or the error of limits that are invalid. confirmIdle is called before a
+// connection without an open request is evicted: if it returns false, something has arrived that was not read,
+// and the connection counts as one with an open request from then on. nil always confirms.
 func New[T any](l Limits, confirmIdle func(T) bool) (*Table[T], error) {
 	if err := l.Validate(); err != nil {
 		return nil, fmt.Errorf("conns: %w", err)
@@ -31,33 +31,34 @@
 	return &Table[T]{limits: l, confirmIdle: confirmIdle, connections: map[*Conn[T]]struct{}{}}, nil
 }
 
-// Owner returns a new owner of at most so many connections, and of so many bytes held; 0 bytes is no bound. Where
-// connections at rest must make room, the owner with the most of them for its weight gives way.
+// NewOwner returns a new owner of at most maxConnections, and of maxBytes reserved; 0 bytes is no limit. Where idle
+// connections must be evicted, the owner with the most of them for its weight is first.
 func (t *Table[T]) NewOwner(weight float64, maxConnections int, maxBytes int64) *Owner[T] {
 	return &Owner[T]{weight: weight, maxConnections: maxConnections, maxBytes: maxBytes, idle: list.New()}
 }
 
-// Change gives an owner another weight and bounds. What it has stays.
+// UpdateOwner gives an owner another weight and limits. Its connections stay.
 func (t *Table[T]) UpdateOwner(o *Owner[T], weight float64, maxConnections int, maxBytes int64) {
-	o.weight, o.maxConnections, o.maxBytes = weight, maxConnections, maxBytes
+	o.weight = weight
+	o.maxConnections = maxConnections
+	o.maxBytes = maxBytes
 }
 
 // Len returns how many connections the table holds, and how many of them have an open request.
 func (t *Table[T]) Len() (all, busy int) { return t.busy + t.idle, t.busy }
 
-// Open takes in a new connection of o, which rests until its first request is whole. It returns the connection
-// that is to be closed to make room, if any. Where none can make room the new one is not taken in: it is nil.
+// Add takes in a new connection of an owner, which is idle until its first request is complete. It returns the
+// connection that is to be closed in its place, if any. If the limits leave no place for the new one, it
+// returns nil for both.
 func (t *Table[T]) Add(now monotime.Micros, o *Owner[T], value T) (c, evicted *Conn[T]) {
 	switch {
 	case o.busy+o.idle.Len() >= o.maxConnections:
-		for evicted = t.longestIdle(o); evicted != nil && !t.confirmIdle(evicted.Value); evicted = t.longestIdle(o) {
-			t.MarkBusy(evicted)
-		}
+		evicted = t.evictableOf(o)
 		if evicted == nil {
 			return nil, nil
 		}
 	case t.busy+t.idle >= t.limits.MaxConnections || t.idle >= t.limits.MaxIdle:
-		// Only one at rest can make room. If there is none, all are waiting for their answers.
+		// Only an idle one can be evicted. If there is none, all wait for their answers.
 		evicted = t.Evictable()
 		if evicted == nil && t.busy+t.idle >= t.limits.MaxConnections {
 			return nil, nil
@@ -72,13 +73,13 @@
 	return c, evicted
 }
 
-// Take notes that a request is open on c, unless c has been closed meanwhile: then it says no, and the request
-// has not been taken.
+// MarkBusy notes that a request is open on a connection. It reports false if the connection was evicted
+// meanwhile, and the request must not be handled.
 func (t *Table[T]) MarkBusy(c *Conn[T]) bool {
 	if c.removed {
 		return false
 	}
-	if c.idleElement != nil { // else it was seen to come before
+	if c.idleElement != nil { // else confirmIdle has found the request before
 		t.removeIdle(c)
 		c.owner.busy++
 		t.busy++
@@ -86,14 +87,15 @@
 	return true
 }
 
-// Rest notes that the request on c has its answer. It returns the connection that is to be closed for that, if
-// too many rest now.
+// MarkIdle notes that the request on a connection was answered. It returns the connection that is to be closed
+// for that, if too many are idle now.
 func (t *Table[T]) MarkIdle(now monotime.Micros, c *Conn[T]) (evicted *Conn[T]) {
 	c.owner.busy--
 	t.busy--
 	t.releaseBytes(c)
 	if t.idle >= t.limits.MaxIdle {
-		if evicted = t.Evictable(); evicted != nil {
+		evicted = t.Evictable()
+		if evicted != nil {
 			t.Remove(evicted)
 		}
 	}
@@ -101,8 +103,9 @@
 	return evicted
 }
 
-// Hold notes that n bytes more are held for c, until it rests or is closed. If that is beyond what its owner may
-// hold it says no and notes nothing, unless they must be held all the same, as an answer that has come.
+// ReserveBytes reserves n bytes more for a connection, until it is idle or removed. It reports false and
+// reserves nothing if that exceeds its owner's limit, unless force is set: an answer that has arrived must be
+// held.
 func (t *Table[T]) ReserveBytes(c *Conn[T], n int64, force bool) bool {
 	o := c.owner
 	if c.removed || !force && o.maxBytes > 0 && o.reservedBytes+n > o.maxBytes {
@@ -113,13 +116,13 @@
 	return true
 }
 
-// release notes that nothing is held for c any more.
+// releaseBytes releases all bytes that are reserved for a connection.
 func (t *Table[T]) releaseBytes(c *Conn[T]) {
 	c.owner.reservedBytes -= c.reservedBytes
 	c.reservedBytes = 0
 }
 
-// Close forgets a connection. It may be called again.
+// Remove removes a connection. It may be called again.
 func (t *Table[T]) Remove(c *Conn[T]) {
 	if c.removed {
 		return
@@ -142,12 +145,12 @@
 	}
 }
 
-// Resting calls f for each connection without an open request, the longest at rest of each owner first.
+// EachIdle calls f for each connection without an open request, the longest idle of each owner first. f may remove it.
 func (t *Table[T]) EachIdle(f func(*Conn[T])) {
 	for _, o := range slices.Clone(t.idleOwners) {
-		for at := o.idle.Front(); at != nil; {
-			c := at.Value.(*Conn[T])
-			at = at.Next()
+		for element := o.idle.Front(); element != nil; {
+			c := element.Value.(*Conn[T])
+			element = element.Next()
 			f(c)
 		}
 	}
--- a/internal/decide/fairqueue/client.go
+++ b/internal/decide/fairqueue/client.go
@@ -7,16 +7,16 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Spec is what one client may do. A bound of 0 is no bound.
+// ClientSpec is the weight and the limits of a client. A limit of 0 is none.
 type ClientSpec struct {
 	Name    string
 	Weight  float64 // of its share; must be positive
 	MaxOpen int     // requests in flight and waiting together
-	Rate    float64 // requests a second, as an average: up to Burst may come at once
+	Rate    float64 // requests a second on average; up to Burst may come at once
 	Burst   float64 // at least 1 where there is a Rate
 }
 
-// Validate says which part of a spec makes no sense.
+// Validate returns the error of a spec that is invalid.
 func (s ClientSpec) Validate() error {
 	switch {
 	case !(s.Weight > 0) || math.IsInf(s.Weight, 0):
@@ -31,35 +31,34 @@
 	return nil
 }
 
-// Client is one client. Its bounds hold over all schedulers that it uses; its weight holds in each. Make one with
-// NewClient.
+// Client is one client. Its limits hold over all schedulers that it uses, its weight in each. Make one with NewClient.
 type Client struct {
 	spec ClientSpec
-	open int // waiting and in flight
+	open int // requests waiting and in flight
 
-	tokens   float64 // of its rate
-	tokensAt monotime.Micros
+	tokens   float64         // of a token bucket by spec.Rate
+	tokensAt monotime.Micros // instant that tokens is of
 
 	flows map[*Scheduler]*clientFlow
 }
 
-// account is what one scheduler knows of a client.
+// clientFlow is a client's state in one scheduler.
 type clientFlow struct {
 	client     *Client
-	tag        float64 // virtual time at which its next request starts
+	tag        float64 // virtual start time of its next request
 	queue      []*queuedRequest
-	queuedCost float64 // of those waiting, in microseconds in flight
-	open       int     // waiting and in flight
+	queuedCost float64 // of the requests in queue, in microseconds in flight
+	open       int     // requests waiting and in flight
 	heapIndex  int     // in Scheduler.backlog; -1 while nothing waits
 }
 
-// Total bounds the requests in flight and waiting together over several schedulers.
+// SharedLimit bounds the requests in flight and waiting over several schedulers together.
 type SharedLimit struct {
-	Max  int // 0 is no bound
+	Max  int // 0 is no limit
 	open int
 }
 
-// NewClient returns a new client, for schedulers of one caller.
+// NewClient returns a new client, for schedulers of one goroutine, or the error of a spec that is invalid.
 func NewClient(spec ClientSpec) (*Client, error) {
 	if err := spec.Validate(); err != nil {
 		return nil, fmt.Errorf("client %q: %w", spec.Name, err)
@@ -67,14 +66,14 @@
 	return &Client{spec: spec, tokens: spec.Burst, flows: map[*Scheduler]*clientFlow{}}, nil
 }
 
-// Change gives a client another spec. What it has open stays open.
+// Update gives the client another spec. Its open requests stay open. A spec that is invalid changes nothing.
 func (c *Client) Update(spec ClientSpec) error {
 	if err := spec.Validate(); err != nil {
 		return fmt.Errorf("client %q: %w", spec.Name, err)
 	}
-	for x, a := range c.flows {
-		if a.heapIndex >= 0 {
-			x.backlogWeight += spec.Weight - c.spec.Weight
+	for scheduler, flow := range c.flows {
+		if flow.heapIndex >= 0 {
+			scheduler.backlogWeight += spec.Weight - c.spec.Weight
 		}
 	}
 	c.spec = spec
@@ -82,10 +81,16 @@
 	return nil
 }
 
-// Open returns how many of the client's requests are waiting and in flight.
+// Counts returns how many of the client's requests are waiting and in flight.
 func (c *Client) Counts() (waiting, inFlight int) {
-	for _, a := range c.flows {
-		waiting += len(a.queue)
+	for _, flow := range c.flows {
+		waiting += len(flow.queue)
 	}
 	return waiting, c.open - waiting
 }
+
+// refill adds the tokens that the client's rate has earned until now.
+func (c *Client) refill(now monotime.Micros) {
+	c.tokens = min(c.spec.Burst, c.tokens+c.spec.Rate*float64(now-c.tokensAt)/float64(second))
+	c.tokensAt = now
+}
--- a/internal/decide/fairqueue/estimate.go
+++ b/internal/decide/fairqueue/estimate.go
@@ -6,23 +6,27 @@
 	"dunlinsail/internal/monotime"
 )
 
-// class is what is known of a class's time in flight.
+// serviceEstimate estimates the time in flight of a class's requests, in microseconds, with the gains of SRTT
+// and RTTVAR (RFC 6298, section 2).
 type serviceEstimate struct {
-	mean, deviation float64 // in microseconds (RFC 6298, 2: the gains of SRTT and RTTVAR)
-	known           bool
+	mean      float64
+	deviation float64
+	known     bool // by samples, not only by Settings.InitialTimes
 }
 
-// Times is how long requests of a class take.
+// ServiceTime is how long requests of a class are in flight, in microseconds.
 type ServiceTime struct {
 	Mean      float64 `json:"Mean"`
 	Deviation float64 `json:"Dev"`
 }
 
-// Learn tells how long an admitted request of a class took that was served: what the next are expected to take.
+// ObserveServiceTime notes how long an admitted request of a class was in flight that was served.
 func (x *Scheduler) ObserveServiceTime(class int, took monotime.Micros) {
 	estimate := &x.estimates[class]
 	if !estimate.known {
-		estimate.mean, estimate.deviation, estimate.known = float64(took), float64(took)/2, true
+		estimate.mean = float64(took)
+		estimate.deviation = float64(took) / 2
+		estimate.known = true
 		return
 	}
 	estimate.deviation += (math.Abs(float64(took)-estimate.mean) - estimate.deviation) / 4
@@ -30,25 +34,25 @@
 	estimate.mean = max(1, estimate.mean)
 }
 
-// Learned returns how long requests of each class take, zero where that is not known.
+// ServiceTimes returns how long requests of each class are in flight, zero for a class without samples.
 func (x *Scheduler) ServiceTimes() []ServiceTime {
 	all := make([]ServiceTime, len(x.estimates))
-	for i, k := range x.estimates {
-		if k.known {
-			all[i] = ServiceTime{k.mean, k.deviation}
+	for i, estimate := range x.estimates {
+		if estimate.known {
+			all[i] = ServiceTime{estimate.mean, estimate.deviation}
 		}
 	}
 	return all
 }
 
-// Restore takes over what another had learned of a class. What makes no sense is passed over.
+// RestoreServiceTime sets what another scheduler has learned of a class. Values that are invalid are ignored.
 func (x *Scheduler) RestoreServiceTime(class int, t ServiceTime) {
 	if t.Mean >= 1 && t.Deviation >= 0 && !math.IsInf(t.Mean, 0) && !math.IsInf(t.Deviation, 0) {
 		x.estimates[class] = serviceEstimate{t.Mean, t.Deviation, true}
 	}
 }
 
-// expect is the time in flight that a request of a class is given when it is judged whether it can be in time.
+// expectedTime is the time in flight that is allowed for a request of a class when its latest start is determined.
 func (x *Scheduler) expectedTime(class int) monotime.Micros {
 	estimate := &x.estimates[class]
 	return monotime.Micros(estimate.mean + estimate.deviation)
--- a/internal/decide/fairqueue/heap.go
+++ b/internal/decide/fairqueue/heap.go
@@ -1,56 +1,73 @@
 package fairqueue
 
-// backlog is a heap of clients by tag (container/heap); among equals who has less in flight goes first.
+// flowHeap is a heap (container/heap) of flows by tag; among equal tags the flow with fewer requests in flight
+// is first.
 type flowHeap []*clientFlow
 
-func (b flowHeap) Len() int { return len(b) }
+// Len is of heap.Interface.
+func (h flowHeap) Len() int { return len(h) }
 
-func (b flowHeap) Less(i, j int) bool {
-	if b[i].tag != b[j].tag {
-		return b[i].tag < b[j].tag
+// Less is of heap.Interface.
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
 	}
-	return b[i].open-len(b[i].queue) < b[j].open-len(b[j].queue)
+	return h[i].open-len(h[i].queue) < h[j].open-len(h[j].queue)
 }
 
-func (b flowHeap) Swap(i, j int) {
-	b[i], b[j] = b[j], b[i]
-	b[i].heapIndex, b[j].heapIndex = i, j
+// Swap is of heap.Interface.
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
 }
 
-func (b *flowHeap) Push(c any) {
-	c.(*clientFlow).heapIndex = len(*b)
-	*b = append(*b, c.(*clientFlow))
+// Push is of heap.Interface.
+func (h *flowHeap) Push(x any) {
+	flow := x.(*clientFlow)
+	flow.heapIndex = len(*h)
+	*h = append(*h, flow)
 }
 
-func (b *flowHeap) Pop() any {
-	last := len(*b) - 1
-	c := (*b)[last]
-	(*b)[last], c.heapIndex = nil, -1
-	*b = (*b)[:last]
-	return c
+// Pop is of heap.Interface.
+func (h *flowHeap) Pop() any {
+	last := len(*h) - 1
+	flow := (*h)[last]
+	(*h)[last] = nil
+	flow.heapIndex = -1
+	*h = (*h)[:last]
+	return flow
 }
 
-// expiry is a heap of requests by the last instant at which they may go on (container/heap).
+// expiryHeap is a heap (container/heap) of waiting requests by their latest start.
 type expiryHeap []*queuedRequest
 
-func (e expiryHeap) Len() int { return len(e) }
+// Len is of heap.Interface.
+func (h expiryHeap) Len() int { return len(h) }
 
-func (e expiryHeap) Less(i, j int) bool { return e[i].latestStart < e[j].latestStart }
+// Less is of heap.Interface.
+func (h expiryHeap) Less(i, j int) bool { return h[i].latestStart < h[j].latestStart }
 
-func (e expiryHeap) Swap(i, j int) {
-	e[i], e[j] = e[j], e[i]
-	e[i].heapIndex, e[j].heapIndex = i, j
+// Swap is of heap.Interface.
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
 }
 
-func (e *expiryHeap) Push(q any) {
-	q.(*queuedRequest).heapIndex = len(*e)
-	*e = append(*e, q.(*queuedRequest))
+// Push is of heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	request := x.(*queuedRequest)
+	request.heapIndex = len(*h)
+	*h = append(*h, request)
 }
 
-func (e *expiryHeap) Pop() any {
-	last := len(*e) - 1
-	q := (*e)[last]
-	(*e)[last], q.heapIndex = nil, -1
-	*e = (*e)[:last]
-	return q
+// Pop is of heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	request := (*h)[last]
+	(*h)[last] = nil
+	request.heapIndex = -1
+	*h = (*h)[:last]
+	return request
 }
--- a/internal/decide/fairqueue/scheduler.go
+++ b/internal/decide/fairqueue/scheduler.go
@@ -9,38 +9,38 @@
 	"dunlinsail/internal/monotime"
 )
 
-// saved is for how long, in microseconds, a client that asks for less than its share saves up what it leaves. It
-// is far under the second in which shares are to hold.
+// burstCredit is for how long, in microseconds, an idle client saves up the share that it does not use: far
+// less than the second within which shares are to hold.
 const burstCredit = 25_000.0
 
-// Settings are what a Scheduler needs.
+// Settings configure a Scheduler.
 type Settings struct {
-	InitialTimes []monotime.Micros // what is expected of a request of each class at first
-	MaxInFlight  int               // requests in flight at once; 0 is no bound
-	Shared       *SharedLimit      // which bounds these and others' requests; nil is no bound
+	InitialTimes []monotime.Micros // by class: expected time in flight of a request until there are samples
+	MaxInFlight  int               // requests in flight at once; 0 is no limit
+	Shared       *SharedLimit      // over this and other schedulers; nil is none
 }
 
-// Scheduler decides between clients. Make one with New.
+// Scheduler schedules the requests to one set of endpoints. Make one with New; it is for one goroutine at a time.
 type Scheduler struct {
 	settings      Settings
-	estimates     []serviceEstimate
+	estimates     []serviceEstimate // by class
 	requests      map[uint64]*queuedRequest
-	backlog       flowHeap   // accounts with something waiting, the least tag first
-	expiry        expiryHeap // requests that wait, the one that must go on first ahead
+	backlog       flowHeap   // flows with waiting requests, the least tag first
+	expiry        expiryHeap // waiting requests, the earliest latest start first
 	backlogWeight float64    // of the clients in backlog
-	virtualTime   float64    // the greatest tag of a request that was admitted
-	maxTag        float64    // the greatest tag of any client
+	virtualTime   float64    // greatest tag of an admitted request
+	maxTag        float64    // greatest tag of any flow
 	inFlight      int
-	pending       []Decision // made already
+	pending       []Decision // made already, for Next
 	closed        bool
 }
 
-// request is a request that waits or is in flight.
+// queuedRequest is a request that waits or is in flight.
 type queuedRequest struct {
 	Request
 	flow        *clientFlow
-	cost        float64         // charged
-	latestStart monotime.Micros // the last instant at which it may go on
+	cost        float64         // charged to its flow, in microseconds
+	latestStart monotime.Micros // last instant at which it may be admitted
 	startedAt   monotime.Micros // in flight since
 	waiting     bool
 	heapIndex   int // in Scheduler.expiry while it waits
@@ -52,83 +52,97 @@
 		s.Shared = &SharedLimit{}
 	}
 	x := &Scheduler{settings: s, requests: map[uint64]*queuedRequest{}}
-	for _, expect := range s.InitialTimes {
-		x.estimates = append(x.estimates, serviceEstimate{mean: float64(max(1, expect))})
+	for _, expected := range s.InitialTimes {
+		x.estimates = append(x.estimates, serviceEstimate{mean: float64(max(1, expected))})
 	}
 	return x
 }
 
-// Close says that nothing more will be offered: clients forget the scheduler once nothing is open in it.
+// Close announces that no more requests will be enqueued. Clients drop the scheduler once it has no open requests.
 func (x *Scheduler) Close() { x.closed = true }
 
-// Slots changes how many requests may be in flight at once; 0 is no bound.
+// SetMaxInFlight sets how many requests may be in flight at once; 0 is no limit.
 func (x *Scheduler) SetMaxInFlight(n int) { x.settings.MaxInFlight = n }
 
 // Counts returns how many requests are waiting and in flight.
 func (x *Scheduler) Counts() (waiting, inFlight int) { return len(x.expiry), x.inFlight }
 
-// Offer takes in a request of a client, whose ID must not be open. What becomes of it, Next tells.
+// Enqueue takes in a request of a client, whose ID must not be that of an open request. Next returns its decision.
 func (x *Scheduler) Enqueue(now monotime.Micros, client *Client, r Request) {
 	flow := x.flowOf(client)
-	reject := func(reason Reason, retryAfter monotime.Micros) {
-		x.pending = append(x.pending, Decision{ID: r.ID, Action: Reject, Reason: reason, RetryAfter: max(0, retryAfter)})
-	}
-	cost := x.estimates[r.Class].mean
-	if spec := &client.spec; spec.Rate > 0 {
-		client.tokens = min(spec.Burst, client.tokens+spec.Rate*float64(now-client.tokensAt)/float64(second))
-		client.tokensAt = now
+	if client.spec.Rate > 0 {
+		client.refill(now)
 		if client.tokens < 1 {
-			reject(ClientOverRate, monotime.Micros(math.Ceil((1-client.tokens)/spec.Rate*float64(second))))
+			wait := monotime.Micros(math.Ceil((1 - client.tokens) / client.spec.Rate * float64(second)))
+			x.reject(r.ID, ClientOverRate, wait)
 			return
 		}
 	}
 	if client.spec.MaxOpen > 0 && client.open >= client.spec.MaxOpen {
-		reject(ClientAtLimit, x.queueDelay(flow, 0))
+		x.reject(r.ID, ClientAtLimit, x.queueDelay(flow, 0))
 		return
 	}
-	if total := x.settings.Shared; total.Max > 0 && total.open >= total.Max {
-		reject(TotalAtLimit, x.queueDelay(flow, 0))
+	if shared := x.settings.Shared; shared.Max > 0 && shared.open >= shared.Max {
+		x.reject(r.ID, TotalAtLimit, x.queueDelay(flow, 0))
 		return
 	}
+	cost := x.estimates[r.Class].mean
 	latestStart := r.Deadline - x.expectedTime(r.Class)
 	if r.MaxWaitFraction > 0 {
 		latestStart = now + monotime.Micros(r.MaxWaitFraction*float64(latestStart-now))
 	}
-	if x.settings.MaxInFlight > 0 && (x.inFlight >= x.settings.MaxInFlight || len(x.backlog) > 0) {
-		if spare := latestStart - now; x.queueDelay(flow, cost) > spare {
-			reject(WouldMissDeadline, x.queueDelay(flow, cost)-max(0, spare))
+	if x.mustWait() {
+		spare := latestStart - now
+		if delay := x.queueDelay(flow, cost); delay > spare {
+			x.reject(r.ID, WouldMissDeadline, delay-max(0, spare))
 			return
 		}
 	}
 	client.tokens--
-	queued := &queuedRequest{Request: r, flow: flow, cost: cost, latestStart: latestStart, waiting: true}
-	x.requests[r.ID] = queued
+	x.push(&queuedRequest{Request: r, flow: flow, cost: cost, latestStart: latestStart, waiting: true})
+}
+
+// mustWait reports whether a new request could not be admitted at once.
+func (x *Scheduler) mustWait() bool {
+	return x.settings.MaxInFlight > 0 && (x.inFlight >= x.settings.MaxInFlight || len(x.backlog) > 0)
+}
+
+// reject decides that a request which was not taken in is rejected.
+func (x *Scheduler) reject(id uint64, reason Reason, retryAfter monotime.Micros) {
+	x.pending = append(x.pending, Decision{ID: id, Action: Reject, Reason: reason, RetryAfter: max(0, retryAfter)})
+}
+
+// push adds a request to those that wait.
+func (x *Scheduler) push(request *queuedRequest) {
+	flow := request.flow
+	x.requests[request.ID] = request
 	x.addOpen(flow, 1)
 	if len(flow.queue) == 0 {
-		// Who asked for nothing saves nothing up but for a moment: a few requests at once of one who asks for little
-		// go ahead of what others have had waiting.
-		x.backlogWeight += client.spec.Weight
+		// An idle client saves up its share for a moment only: a small burst of a client with little traffic
+		// goes ahead of what others have waiting.
+		x.backlogWeight += flow.client.spec.Weight
 		flow.tag = max(flow.tag, x.virtualTime-burstCredit*float64(x.settings.MaxInFlight)/x.backlogWeight)
 		heap.Push(&x.backlog, flow)
 	}
-	flow.queue = append(flow.queue, queued)
-	flow.queuedCost += cost
-	heap.Push(&x.expiry, queued)
+	flow.queue = append(flow.queue, request)
+	flow.queuedCost += request.cost
+	heap.Push(&x.expiry, request)
 }
 
-// account returns what is known of a client.
+// flowOf returns a client's flow, and makes it if need be.
 func (x *Scheduler) flowOf(c *Client) *clientFlow {
-	a := c.flows[x]
-	if a == nil {
-		maps.DeleteFunc(c.flows, func(o *Scheduler, _ *clientFlow) bool { return o.closed && len(o.requests) == 0 })
-		a = &clientFlow{client: c, heapIndex: -1}
-		c.flows[x] = a
+	flow := c.flows[x]
+	if flow == nil {
+		maps.DeleteFunc(c.flows, func(other *Scheduler, _ *clientFlow) bool {
+			return other.closed && len(other.requests) == 0
+		})
+		flow = &clientFlow{client: c, heapIndex: -1}
+		c.flows[x] = flow
 	}
-	return a
+	return flow
 }
 
-// Done tells that a request in flight is over and holds no place any more, or that one that waits is not wanted
-// any more. Requests that are not known are passed over.
+// Done notes that a request in flight has ended, or that a waiting one was cancelled. Unknown requests are ignored.
 func (x *Scheduler) Done(now monotime.Micros, id uint64) {
 	request := x.requests[id]
 	if request == nil {
@@ -145,21 +159,21 @@
 	took := float64(now - request.startedAt)
 	x.charge(flow, took-request.cost)
 	if x.inFlight == 0 && len(x.backlog) == 0 {
-		x.virtualTime = x.maxTag // the next busy period begins with all alike
+		x.virtualTime = x.maxTag // the next busy period starts with equal tags
 	}
 }
 
-// count notes that n more requests of a client are open.
+// addOpen notes that n more requests of a flow are open.
 func (x *Scheduler) addOpen(flow *clientFlow, n int) {
 	flow.open += n
 	flow.client.open += n
 	x.settings.Shared.open += n
 }
 
-// Next returns one decision that is due, until there is none.
-func (x *Scheduler) Next(now monotime.Micros) (Decision, bool) {
-	if n := len(x.pending); n > 0 {
-		d := x.pending[0]
+// Next returns one decision that is due; ok is false if there is none.
+func (x *Scheduler) Next(now monotime.Micros) (d Decision, ok bool) {
+	if len(x.pending) > 0 {
+		d = x.pending[0]
 		x.pending = append(x.pending[:0], x.pending[1:]...)
 		return d, true
 	}
@@ -167,28 +181,33 @@
 		return Decision{}, false
 	}
 	if x.settings.MaxInFlight > 0 && x.inFlight >= x.settings.MaxInFlight {
-		// Whoever cannot be in time any more, however soon its turn came, waits no longer. Where there is room
-		// nobody waits, and whether it is worth sending is not decided here.
-		request := x.expiry[0]
-		if now < request.latestStart {
-			return Decision{}, false
-		}
-		flow := request.flow
-		x.Done(now, request.ID)
-		return Decision{ID: request.ID, Action: Reject, Reason: WouldMissDeadline, RetryAfter: x.queueDelay(flow, request.cost)}, true
+		return x.expire(now)
 	}
 	flow := x.backlog[0]
 	request := flow.queue[0]
 	x.virtualTime = max(x.virtualTime, flow.tag)
 	x.dequeue(request)
-	request.waiting, request.startedAt = false, now
+	request.waiting = false
+	request.startedAt = now
 	x.inFlight++
 	x.charge(flow, request.cost)
 	return Decision{ID: request.ID, Action: Admit}, true
 }
 
-// Wake returns the instant at which a request that waits must be turned away unless something happens before; 0
-// while there is none.
+// expire rejects a waiting request that could not be in time any more even if it were admitted now. While there
+// is capacity nothing waits, and whether a late request is still worth sending is not decided here.
+func (x *Scheduler) expire(now monotime.Micros) (d Decision, ok bool) {
+	request := x.expiry[0]
+	if now < request.latestStart {
+		return Decision{}, false
+	}
+	x.Done(now, request.ID)
+	delay := x.queueDelay(request.flow, request.cost)
+	return Decision{ID: request.ID, Action: Reject, Reason: WouldMissDeadline, RetryAfter: delay}, true
+}
+
+// NextExpiry returns the instant at which a waiting request must be rejected unless something happens before; 0 if none
+// waits. Next must be called then.
 func (x *Scheduler) NextExpiry() monotime.Micros {
 	if len(x.expiry) == 0 {
 		return 0
@@ -196,7 +215,7 @@
 	return x.expiry[0].latestStart
 }
 
-// charge moves a client's tag on by a cost, or back.
+// charge advances a flow's tag by a cost; a negative cost moves it back.
 func (x *Scheduler) charge(flow *clientFlow, cost float64) {
 	flow.tag += cost / flow.client.spec.Weight
 	x.maxTag = max(x.maxTag, flow.tag)
@@ -205,8 +224,8 @@
 	}
 }
 
-// delay is how long it takes until everything of c that waits, and a cost more, has had its turn, while all who
-// wait now go on asking.
+// queueDelay is how long it takes until a flow's waiting requests and an extra cost have been admitted, while
+// all clients that wait now go on sending.
 func (x *Scheduler) queueDelay(flow *clientFlow, extraCost float64) monotime.Micros {
 	if x.settings.MaxInFlight <= 0 {
 		return 0
@@ -215,11 +234,12 @@
 	if flow.heapIndex < 0 {
 		totalWeight += flow.client.spec.Weight
 	}
-	rate := float64(x.settings.MaxInFlight) * flow.client.spec.Weight / totalWeight // time in flight that c gets, for each unit of time
+	// Time in flight that the flow gets in each unit of time.
+	rate := float64(x.settings.MaxInFlight) * flow.client.spec.Weight / totalWeight
 	return monotime.Micros((flow.queuedCost + extraCost) / rate)
 }
 
-// unqueue takes a request out of those that wait.
+// dequeue removes a request from those that wait.
 func (x *Scheduler) dequeue(request *queuedRequest) {
 	flow := request.flow
 	if flow.queue[0] == request { // nearly always
@@ -234,7 +254,7 @@
 		heap.Remove(&x.backlog, flow.heapIndex)
 		x.backlogWeight -= flow.client.spec.Weight
 		if len(x.backlog) == 0 {
-			x.backlogWeight = 0 // sums of fractions drift
+			x.backlogWeight = 0 // against the drift of floating-point sums
 		}
 	}
 	heap.Remove(&x.expiry, request.heapIndex)
--- a/internal/decide/overload/average.go
+++ b/internal/decide/overload/average.go
@@ -6,40 +6,48 @@
 	"dunlinsail/internal/monotime"
 )
 
+// decaySpan is the time constant of a decayingRate.
 const decaySpan = 2 * second
 
-// meter is a rate a second, averaged over about two seconds.
+// decayingRate is a rate a second, averaged exponentially over about two seconds.
 type decayingRate struct {
 	sum       float64
 	updatedAt monotime.Micros
 }
 
-func (m *decayingRate) decayed(now monotime.Micros) float64 {
-	if m.sum == 0 {
+// decayed is the sum as of now.
+func (r *decayingRate) decayed(now monotime.Micros) float64 {
+	if r.sum == 0 {
 		return 0
 	}
-	return m.sum * math.Exp(-float64(max(0, now-m.updatedAt))/float64(decaySpan))
+	return r.sum * math.Exp(-float64(max(0, now-r.updatedAt))/float64(decaySpan))
 }
 
-func (m *decayingRate) add(now monotime.Micros, amount float64) {
-	m.sum, m.updatedAt = m.decayed(now)+amount, now
+// add counts an amount.
+func (r *decayingRate) add(now monotime.Micros, amount float64) {
+	r.sum = r.decayed(now) + amount
+	r.updatedAt = now
 }
 
-func (m *decayingRate) rate(now monotime.Micros) float64 {
-	return m.decayed(now) * float64(second) / float64(decaySpan)
+// rate returns the amount a second.
+func (r *decayingRate) rate(now monotime.Micros) float64 {
+	return r.decayed(now) * float64(second) / float64(decaySpan)
 }
 
-// mean is a moving average that begins as a plain mean: taken whole, one odd first sample would steer for long.
+// movingAverage is an exponential moving average that starts as a plain mean, so that an unusual first sample does not
+// dominate for long.
 type movingAverage struct {
 	value   float64
-	samples float64 // samples
+	samples float64
 }
 
+// add takes in a sample, whose weight is at least the one given.
 func (m *movingAverage) add(sample, weight float64) {
 	m.samples++
 	m.value += (sample - m.value) * max(weight, 1/m.samples)
 }
 
+// valueOr returns the average, or another value while there is no sample.
 func (m *movingAverage) valueOr(other float64) float64 {
 	if m.samples > 0 {
 		return m.value
--- a/internal/decide/overload/bounds.go
+++ b/internal/decide/overload/bounds.go
@@ -1,74 +1,88 @@
 package overload
 
-import (
-	"dunlinsail/internal/monotime"
-)
+import "dunlinsail/internal/monotime"
 
-// Reason says why something is bounded, for logs and figures.
+// Reason is why something is bounded, for logs and metrics.
 type Reason uint8
 
 // The reasons.
 const (
-	None               Reason = iota // nothing is
-	EndpointsSaturated               // endpoints' requests take too large a part of their aim
+	None               Reason = iota // nothing is bounded
+	EndpointsSaturated               // requests spend too large a part of their objective at endpoints
 	AttemptsFailing                  // many attempts fail
 )
 
-// String names the reason.
+// String returns the reason as it stands in the log.
 func (r Reason) String() string {
 	return [...]string{"none", "endpoints are full", "many attempts fail"}[r]
 }
 
-// Bounds is what is decided, as of an instant.
+// Bounds are the decisions of a Controller as of an instant.
 type Bounds struct {
-	Level                  float64   // 1: all work goes on; towards 0 ever less does
-	AdmitRatio             []float64 // by class, the part of the requests that goes on
-	ExcessAdmitRatio       []float64 // the same of what tenants ask beyond their share
-	WithinShareRatio       []float64 // by tenant, the part of its requests that lies within its share
-	RepeatAdmitRatio       float64   // of what goes on by that, the part of the requests that say that they repeat an earlier one
-	QueueWaitFraction      []float64 // by class, the part of what its aim leaves that a request may wait at an endpoint
-	FloorQueueWaitFraction float64   // the same of what ranks first, whatever its class,
-	FloorRatio             float64   // which is this part of the requests
+	Level            float64   // admission level: 1 admits all work, towards 0 ever less
+	AdmitRatio       []float64 // by class: part of the requests that is admitted
+	ExcessAdmitRatio []float64 // by class: the same of requests over their tenant's share
+	WithinShareRatio []float64 // by tenant: part of its requests that is within its share
+	RepeatAdmitRatio float64   // part of the otherwise admitted requests that is admitted of those marked as repeats
+
+	// How long a request may wait at an endpoint, as a part of the time that its latency objective leaves beyond its
+	// service time: by class, and for the requests of the floor, which is the part FloorRatio of every class.
+	QueueWaitFraction      []float64
+	FloorQueueWaitFraction float64
+	FloorRatio             float64
+
+	RetryAllowed bool    // one more retry or hedged request may be sent
+	ProbeRate    float64 // probes a second within the budget
 
-	RetryAllowed        bool            // one more further attempt may go out
-	ProbeRate           float64         // probes a second that there is room for
-	ForcedAdmitInterval monotime.Micros // one request of a class may go on against its limit after so long: a wrong guess must not feed itself
+	// ForcedAdmitInterval is how often one request of a class is admitted against its limit, so that a wrong
+	// estimate is corrected by new samples.
+	ForcedAdmitInterval monotime.Micros
 
-	Load          float64 // the part of its aim that a request spends at an endpoint
-	AdmittedRatio float64 // the part of what was asked for that went on lately
+	Load          float64 // part of its latency objective that a request spends at an endpoint
+	AdmittedRatio float64 // part of the work offered lately that was admitted
 	Reason        Reason
 }
 
 const (
-	// The part of first attempts whose failing makes further ones few: beyond it the others could not serve them all anyway.
+	// failingThreshold is the part of first attempts whose failure reduces the retry budget: beyond it the
+	// healthy endpoints could not serve all retries.
 	failingThreshold = 0.3
-	// Below this part of its requests an instance is turning work away.
+	// sheddingThreshold is the admitted part of the work below which an instance counts as shedding.
 	sheddingThreshold = 0.9
-	// Requests a second that may go on against their limits at one endpoint, of all instances together: an eighth or so of
-	// what an endpoint of two cores serves. Were it one for each class and instance, as it is without bounds, at 300 instances
-	// it would be all that they are asked for: that is what the number of instances did harm by.
+	// forcedAdmitRate is how many requests a second may be admitted against their limits at one endpoint, by
+	// all instances together: about an eighth of what an endpoint of two cores serves. One for each class and
+	// instance, as without bounds, would be all of the demand at 300 instances.
 	forcedAdmitRate = 4.0
 )
 
-// Bounds returns what holds now. Its lists are the control's own, until its next event.
+// Bounds returns the bounds in force. Its slices belong to the controller and are valid until its next event.
 func (c *Controller) Bounds(now monotime.Micros) Bounds {
 	admitted := 1.0
-	if n := c.workOffered.rate(now); n > 0 {
-		admitted = min(1, c.workAdmitted.rate(now)/n)
+	if offered := c.workOffered.rate(now); offered > 0 {
+		admitted = min(1, c.workAdmitted.rate(now)/offered)
+	}
+	b := Bounds{
+		Level:         c.level.value,
+		Load:          c.level.load,
+		AdmittedRatio: admitted,
+		ProbeRate:     c.probeLimits(now).total(),
 	}
-	b := Bounds{Level: c.level.value, Load: c.level.load, AdmittedRatio: admitted, ProbeRate: c.probeLimits(now).total()}
 	b.AdmitRatio, b.ExcessAdmitRatio = c.shedding.ratios(b.Level, c.answerTimes)
 	b.RepeatAdmitRatio = repeatRatio(b.Level)
-	b.QueueWaitFraction, b.FloorQueueWaitFraction, b.FloorRatio = c.shedding.queueWaits, floorQueueWait, c.shedding.floorRatio
+	b.QueueWaitFraction = c.shedding.queueWaits
+	b.FloorQueueWaitFraction = floorQueueWait
+	b.FloorRatio = c.shedding.floorRatio
 	b.WithinShareRatio = c.shedding.shareRatios(now, c.tenantDemand)
-	b.ForcedAdmitInterval = max(second, monotime.Micros(float64(len(c.settings.Classes)*c.settings.Instances)/(forcedAdmitRate*float64(max(1, c.endpoints)))*float64(second)))
+	b.ForcedAdmitInterval = c.forcedAdmitInterval()
 	ratio := c.settings.RetryRatio
 	endedRate := c.endedFirst.rate(now)
 	switch {
 	case c.level.saturated() || admitted < sheddingThreshold:
-		b.Reason, ratio = EndpointsSaturated, c.settings.OverloadedRetryRatio
+		b.Reason = EndpointsSaturated
+		ratio = c.settings.OverloadedRetryRatio
 	case endedRate >= 1 && 1-c.servedFirst.rate(now)/endedRate > failingThreshold:
-		b.Reason, ratio = AttemptsFailing, c.settings.OverloadedRetryRatio
+		b.Reason = AttemptsFailing
+		ratio = c.settings.OverloadedRetryRatio
 	}
 	c.retryRatio = ratio
 	c.startSecond(now)
@@ -76,13 +90,20 @@
 	return b
 }
 
-// Further says whether one more further attempt is within what the instance has by itself.
+// forcedAdmitInterval spreads forcedAdmitRate over the fleet's instances and classes.
+func (c *Controller) forcedAdmitInterval() monotime.Micros {
+	sources := float64(len(c.settings.Classes) * c.settings.Instances)
+	rate := forcedAdmitRate * float64(max(1, c.endpoints))
+	return max(second, monotime.Micros(sources/rate*float64(second)))
+}
+
+// RetryAllowed reports whether one more retry or hedged request is within the budget that the instance has on its own.
 func (c *Controller) RetryAllowed(now monotime.Micros) bool {
 	c.startSecond(now)
 	return c.retries.allows(now, c.retryLimit(now))
 }
 
-// furtherMost is how many further attempts the latest second has earned.
+// retryLimit is how many retries the first attempts of the last second have earned.
 func (c *Controller) retryLimit(now monotime.Micros) float64 {
-	return c.local.further * c.retryRatio * float64(c.acceptedFirst.count(now, false))
+	return c.local.retries * c.retryRatio * float64(c.acceptedFirst.count(now, false))
 }
--- a/internal/decide/overload/controller.go
+++ b/internal/decide/overload/controller.go
@@ -6,82 +6,101 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Control decides for one instance. Make one with New.
+// Controller controls the overload of one instance. Make one with New; it is for one goroutine at a time.
 type Controller struct {
 	settings        Settings
 	level           admissionLevel
 	shedding        sheddingOrder
-	retries         secondBudget // attempts beyond a request's first
-	acceptedFirst   slidingWindow
-	retryRatio      float64 // of the accepted ones that further takes, as decided last
+	retries         secondBudget  // attempts beyond a request's first
+	acceptedFirst   slidingWindow // first attempts accepted
+	retryRatio      float64       // of the accepted first attempts, as decided last
 	probeTokens     probeBucket
-	earnedProbes    secondBudget // probes that are earned, by the own part of the fleet's load
-	discoveryProbes secondBudget // probes that go out whatever happens
+	earnedProbes    secondBudget // probes earned by accepted first attempts
+	discoveryProbes secondBudget // probes sent in any case, up to MinEndpointProbes
 
 	endpoints    int
-	classDemand  []decayingRate  // by class: requests that are no repeats
-	tenantDemand []decayingRate  // by tenant, the same
-	answerTimes  []movingAverage // by class: time of an answer
-	workOffered  decayingRate    // work that was decided on, in time at an endpoint, repeats included
-	workAdmitted decayingRate    // of that, such as went on
+	classDemand  []decayingRate  // by class: requests that repeat no earlier one
+	tenantDemand []decayingRate  // by tenant: the same
+	answerTimes  []movingAverage // by class: time of an answer, in microseconds
+	workOffered  decayingRate    // work that was admitted or rejected, as time at an endpoint, repeats included
+	workAdmitted decayingRate    // the admitted part of it
 	servedFirst  decayingRate    // first attempts accepted
 	endedFirst   decayingRate    // first attempts ended
-	endpointRate movingAverage   // requests a second that an endpoint serves for all, as it reports
-	local        struct {        // the parts of what it may do by itself that are its own, whatever others say
-		further, probes float64
-	}
-	borrowedProbeRate float64 // probes a second that others lend
+	endpointRate movingAverage   // requests a second that an endpoint serves to all instances, as reported
+	local        localShares
+
+	borrowedProbeRate float64 // probes a second lent by other instances
+}
+
+// localShares are the parts of its budgets that an instance may use without other instances' consent, 0 to 1.
+type localShares struct {
+	retries float64
+	probes  float64
 }
 
 const (
 	answerTimeWeight     = 0.02
-	initialAnswerSamples = 4 // answers that the first guess of how long they take, a fifth of the aim, counts as
+	initialAnswerSamples = 4 // answers that the initial estimate, a fifth of the objective, counts as
 	endpointRateWeight   = 0.1
-	maxReportFactor      = 4 // times the mean that one report counts as, at most: one that lies must not hide what all serve
-)
 
-// reportSlack is what endpoints' reports may fall short of what they serve: they are averages of a second that is over.
-const reportTolerance = 1.5
+	// maxReportFactor is the multiple of the mean that one report counts as at most: a false report of one
+	// endpoint must not hide what all of them serve.
+	maxReportFactor = 4
 
-const (
-	sharedLevelTTL   = 2 * second // what was told of the others is taken for what holds,
-	sharedLoadWeight = 0.5        // and of their load this part, beside what is seen here meanwhile
+	// reportTolerance is the factor by which endpoints' reports may fall short of what they serve: they are
+	// averages over a second that is past.
+	reportTolerance = 1.5
+
+	sharedLevelTTL   = 2 * second // how long a shared level holds after it was received
+	sharedLoadWeight = 0.5        // weight of the shared load against the local one
 )
 
-// New returns the control of an instance that has just started, or a *SettingError.
+// New returns the controller of an instance that has just started, or a *SettingError.
 func New(s Settings) (*Controller, error) {
 	if err := s.validate(); err != nil {
 		return nil, err
 	}
-	c := &Controller{settings: s, classDemand: make([]decayingRate, len(s.Classes)), tenantDemand: make([]decayingRate, len(s.Tenants)), answerTimes: make([]movingAverage, len(s.Classes)),
-		shedding: newSheddingOrder(s), retries: secondBudget{seed: s.Seed}, earnedProbes: secondBudget{seed: s.Seed ^ 1}, discoveryProbes: secondBudget{seed: s.Seed ^ 2}, retryRatio: s.OverloadedRetryRatio}
+	c := &Controller{
+		settings:        s,
+		classDemand:     make([]decayingRate, len(s.Classes)),
+		tenantDemand:    make([]decayingRate, len(s.Tenants)),
+		answerTimes:     make([]movingAverage, len(s.Classes)),
+		shedding:        newSheddingOrder(s),
+		retries:         secondBudget{seed: s.Seed},
+		earnedProbes:    secondBudget{seed: s.Seed ^ 1},
+		discoveryProbes: secondBudget{seed: s.Seed ^ 2},
+		retryRatio:      s.OverloadedRetryRatio,
+	}
 	c.SetLocalShares(1, 1, 0)
 	for i := range c.answerTimes {
 		c.answerTimes[i] = movingAverage{float64(s.Classes[i].LatencyObjective) / 5, initialAnswerSamples}
 	}
-	c.level.value = 1 // what an instance has not seen it does not turn away; the balancer's limits hold meanwhile
+	c.level.value = 1 // nothing is shed without evidence; until there is some, the balancer's limits hold
 	return c, nil
 }
 
-// Level returns the level that holds, 1 for all work.
+// Level returns the admission level in force, 1 for all work.
 func (c *Controller) Level() float64 { return c.level.value }
 
-// Begin has a control that takes over from another begin at its level: what it would let in until it had learned that
-// comes on top of what the other has let in. Budgets are not taken over: nothing is spent twice.
+// RestoreLevel sets the level that the instance's predecessor had at a hot restart. Otherwise the work that is
+// admitted until the level is learned would come on top of what the predecessor admitted. Budgets are not
+// restored, so that nothing is spent twice. Levels out of range are ignored.
 func (c *Controller) RestoreLevel(level float64) {
 	if level >= minLevel && level <= 1 {
 		c.level.value = level
 	}
 }
 
-// Alone says that of further attempts and of probes the instance has these parts by itself. The rest of what the fleet has is
-// lent to it by others, so many probes a second for now.
+// SetLocalShares sets which parts of its retry and probe budgets, 0 to 1, the instance may use on its own. The rest is
+// granted by other instances; borrowedProbeRate is how many probes a second they lend at present.
 func (c *Controller) SetLocalShares(retries, probes, borrowedProbeRate float64) {
-	c.local.further, c.local.probes, c.borrowedProbeRate = retries, probes, borrowedProbeRate
+	c.local = localShares{retries: retries, probes: probes}
+	c.borrowedProbeRate = borrowedProbeRate
 }
 
-// Earns returns what further attempts a second this instance's accepted first ones add to what all have, and the most that
-// all can add by what endpoints report; infinite where they report nothing.
+// EarnedRetryRate returns the retries a second that this instance's accepted first attempts add to the fleet's
+// budget, and the most that the fleet can earn by the rates that endpoints report; infinite where they report
+// none.
 func (c *Controller) EarnedRetryRate(now monotime.Micros) (local, fleetMax float64) {
 	fleetMax = math.Inf(1)
 	if reported := c.endpointRate.valueOr(0) * float64(c.endpoints); reported > 0 {
@@ -90,36 +109,39 @@
 	return c.retryRatio * float64(c.acceptedFirst.count(now, false)), fleetMax
 }
 
-// Probes returns how many probes a second all instances have together; 0 is that there is no such number.
+// FleetProbeRate returns the probes a second that all instances may send together; 0 is no bound.
 func (c *Controller) FleetProbeRate() float64 {
 	return c.settings.MaxEndpointProbes * float64(c.endpoints)
 }
 
-// Evidence returns what others should know of: the level, the part of their aim that requests spend at endpoints, and, since
-// it was called last, the requests that came and such as went on in vain.
+// TakeObservations returns what other instances need for a shared level: the local level, the load (see
+// Bounds.Load), and the requests, and the failed ones among them, since the last call.
 func (c *Controller) TakeObservations() (level, load float64, requests, failed int) {
 	l := &c.level
-	requests, failed = l.requests, min(l.failed, l.requests)
-	l.requests, l.failed = 0, 0
+	requests = l.requests
+	failed = min(l.failed, l.requests)
+	l.requests = 0
+	l.failed = 0
 	return l.value, l.load, requests, failed
 }
 
-// Others tells at what level all instances are together (Joint), and what part of their aim requests spend at endpoints. For a
-// while the instance goes by that, and moves its level by itself again where nothing more is told.
+// ApplySharedLevel sets the level of all instances together (SharedLevel), and the load that they see. For a while the
+// instance goes by that level; without further calls it controls its own again. Values out of range are ignored.
 func (c *Controller) ApplySharedLevel(now monotime.Micros, level, load float64) {
 	if level >= minLevel && level <= 1 {
-		c.level.value, c.level.sharedUntil = level, now+sharedLevelTTL
+		c.level.value = level
+		c.level.sharedUntil = now + sharedLevelTTL
 	}
 	if load >= 0 && load <= 1 {
 		c.level.load += sharedLoadWeight * (load - c.level.load)
 	}
 }
 
-// Endpoints tells how many endpoints the instance shares with the others.
+// SetEndpointCount sets how many endpoints the instance shares with the others.
 func (c *Controller) SetEndpointCount(n int) { c.endpoints = n }
 
-// Asked tells of a client's request. A repeat of one that the client asked for before is no new worth. A tenant that is
-// none of the settings' is a negative number.
+// OnRequest notes a client's request. A repeat of an earlier request adds no demand. A tenant that is not in
+// the settings is a negative number.
 func (c *Controller) OnRequest(now monotime.Micros, class, tenant int, repeat bool) {
 	if class < 0 || class >= len(c.classDemand) {
 		return
@@ -135,7 +157,7 @@
 	}
 }
 
-// Sent tells that an attempt has gone out; first says that it is its request's first.
+// OnAttemptSent notes that an attempt was sent; first is set for the first one of its request.
 func (c *Controller) OnAttemptSent(now monotime.Micros, class int, first bool) {
 	if !first {
 		c.retries.sent.add(now)
@@ -145,7 +167,8 @@
 	}
 }
 
-// Away tells that a request was turned away unsent: by the bounds, or by the balancer although they had let it in.
+// OnRejected notes that a request was rejected before anything of it was sent: by the bounds, or, where
+// admitted is set, by the balancer although the bounds had admitted it.
 func (c *Controller) OnRejected(now monotime.Micros, class int, admitted bool) {
 	if class >= 0 && class < len(c.answerTimes) {
 		c.workOffered.add(now, c.requestCost(class))
@@ -155,23 +178,23 @@
 	}
 }
 
-// work is what a request of a class costs, as time at an endpoint.
+// requestCost is what a request of a class costs, as time at an endpoint in microseconds.
 func (c *Controller) requestCost(class int) float64 {
 	return c.answerTimes[class].value
 }
 
-// Ending is how an attempt ended.
+// Outcome is how an attempt ended, as far as that tells of load.
 type Outcome uint8
 
-// The ways in which an attempt ends, as far as they tell of load.
+// The outcomes of attempts.
 const (
 	Answered   Outcome = iota
-	Overloaded         // turned away by the endpoint, or no answer in its time
-	Failed             // failed in another way, which tells nothing of load
-	Cancelled          // by ourselves: tells nothing
+	Overloaded         // rejected by the endpoint, or not answered within its timeout
+	Failed             // in another way, which tells nothing of load
+	Cancelled          // by this instance, which tells nothing
 )
 
-// Ended tells of an attempt's end; first says that it was its request's first.
+// OnAttemptEnded notes how an attempt ended, and how long it took; first is set for the first one of its request.
 func (c *Controller) OnAttemptEnded(now monotime.Micros, class int, first bool, outcome Outcome, took monotime.Micros) {
 	if class < 0 || class >= len(c.settings.Classes) || outcome == Cancelled {
 		return
@@ -199,24 +222,28 @@
 	}
 }
 
-// Load is what an endpoint reports of its whole load; what it does not report is negative.
+// LoadReport is what an endpoint reports of its load by all instances; a figure that it does not report is negative.
 type LoadReport struct {
-	InFlight   float64 // requests that it holds
+	InFlight   float64 // requests in flight at the endpoint
 	ServedRate float64 // requests served a second
 }
 
-// Reported tells what an endpoint reports. By Little's law the time that a request spends there is what it holds over what
-// it serves a second: that holds for all instances' requests, without knowing its cores or the requests' work. What makes no
-// sense is passed over.
+// OnLoadReport notes an endpoint's load report. By Little's law the time that a request spends at the endpoint
+// is the requests in flight over the rate served, for the requests of all instances and without knowledge of
+// the endpoint's cores or of the requests' cost. Reports that cannot be true are ignored.
 func (c *Controller) OnLoadReport(now monotime.Micros, report LoadReport) {
-	if !(report.ServedRate >= 1) || math.IsInf(report.ServedRate, 0) || !(report.InFlight >= 0) || math.IsInf(report.InFlight, 0) {
-		return // an endpoint that serves nothing tells nothing of how long it takes
+	if !(report.ServedRate >= 1) || math.IsInf(report.ServedRate, 0) {
+		return // an endpoint that serves nothing does not tell how long it takes
+	}
+	if !(report.InFlight >= 0) || math.IsInf(report.InFlight, 0) {
+		return
 	}
-	c.endpointRate.add(min(report.ServedRate, maxReportFactor*c.endpointRate.valueOr(report.ServedRate)), endpointRateWeight)
+	rate := min(report.ServedRate, maxReportFactor*c.endpointRate.valueOr(report.ServedRate))
+	c.endpointRate.add(rate, endpointRateWeight)
 	c.level.addSample(now, report.InFlight/report.ServedRate*float64(second)/c.meanObjective(now))
 }
 
-// aim is the mean aim of what is asked for, in microseconds.
+// meanObjective is the mean latency objective over the demand, in microseconds.
 func (c *Controller) meanObjective(now monotime.Micros) float64 {
 	var sum, n float64
 	for i := range c.classDemand {
@@ -230,13 +257,13 @@
 	return sum / n
 }
 
-// roll settles what a second that begins has.
+// startSecond sets the budgets of a second that begins.
 func (c *Controller) startSecond(now monotime.Micros) {
 	if now/second == c.retries.currentSecond {
 		return
 	}
-	r := c.probeLimits(now)
+	limits := c.probeLimits(now)
 	c.retries.start(now, c.retryLimit(now))
-	c.earnedProbes.start(now, r.maxEarnedRate)
-	c.discoveryProbes.start(now, r.minRate)
+	c.earnedProbes.start(now, limits.maxEarnedRate)
+	c.discoveryProbes.start(now, limits.minRate)
 }
--- a/internal/decide/overload/level.go
+++ b/internal/decide/overload/level.go
@@ -7,52 +7,56 @@
 )
 
 const (
-	// A second's steps up, and for a second in which all went on in vain the part down. Where they meet, up/(down*level) of
-	// what is asked for goes on in vain: 7% at half of the work. What other values come to stands in docs/design/overload.md.
+	// A second's increase, and the part of the level that a second takes off in which all requests fail. In
+	// equilibrium the part increasePerSecond/(decreasePerSecond*level) of the requests fails: 7% at a level of
+	// half. docs/design/overload.md has what other values come to.
 	increasePerSecond = 0.1
 	decreasePerSecond = 3.0
-	// While requests spend less than xFree of their aim at endpoints there is no overload that lasts, and the level comes
-	// back five times as fast: half of the work within a second.
+	// While requests spend less than idleLoad of their objective at endpoints there is no lasting overload, and
+	// the level recovers five times as fast: by half within a second.
 	idleIncreasePerSecond = 0.5
 	idleLoad              = 0.3
-	// One request counts as at most so much of a second: an instance that is asked for little learns from as many requests
-	// as another, if over longer.
+	// maxRequestWeight is the part of a second that one request counts as at most: an instance with few
+	// requests learns from as many requests as another one, only over a longer time.
 	maxRequestWeight = 0.1
-	// Something always goes on, or nothing would tell that more may.
+	// minLevel is always admitted, or nothing would show that more may be.
 	minLevel = 0.05
 
-	// A sample counts as no more than a whole aim: an endpoint that lies or hangs moves the mean by its part of the samples
-	// at most. With one of twelve lying, 0.2 in calm becomes 0.27.
+	// maxLoadSample bounds a sample to the whole objective: an endpoint that reports falsely or hangs moves the
+	// mean by its part of the samples at most. With one such endpoint of twelve, 0.2 in calm becomes 0.27.
 	maxLoadSample = 1.0
-	// Beyond this part of the aim endpoints are taken for full: a request alone takes a fifth of it or so.
+	// saturatedLoad is the load beyond which endpoints count as saturated; a request without others takes about
+	// a fifth.
 	saturatedLoad = 0.45
 
-	loadSpan      = second // samples are averaged over this time,
-	maxLoadWeight = 0.1    // but one of them moves the mean by so much at most: who has few goes by as many, if over longer
+	loadSpan      = second // time constant of the mean load
+	maxLoadWeight = 0.1    // of one sample: with few samples the mean goes by as many, over a longer time
 )
 
-// level is the part of a mix of work that goes on (order.go). It rises by a step for each request that is asked for and falls
-// by a part of itself for each that went on in vain: turned away by the balancer, by an endpoint, or answered too late. What
-// goes on in vain depends on the endpoints' queues, which are the same for all instances; so a high level falls by more than
-// a low one, and any two come to the same (additive increase, multiplicative decrease: Chiu and Jain 1989). The queues
-// themselves are held by the balancer's limits, request by request; the level only has to find which part of the work those
-// need not turn away. That part is a property of demand and capacity and does not move with the queues, so that evidence
-// which is seconds old steers it without swinging (docs/design/overload.md).
+// admissionLevel is the part of a standard mix of work that is admitted (see sheddingOrder). It rises by a step
+// for each request, and falls by a part of itself for each request that fails: one that the balancer or an
+// endpoint rejects after it was admitted, or that is answered too late. Those failures depend on the endpoints'
+// queues, which all instances share; and as a high level falls by more than a low one, instances that see the
+// same converge (AIMD: Chiu and Jain 1989).
+//
+// The queues themselves are bounded by the balancer's limits, request by request. The level only finds the part
+// of the work that those limits need not reject. It depends on demand and capacity and does not follow the
+// queues, so that evidence which is seconds old controls it without oscillation (docs/design/overload.md).
 type admissionLevel struct {
 	value         float64
-	requestAt     monotime.Micros // of the latest request
-	requestWeight float64         // the part of a second that it counts as
+	requestAt     monotime.Micros // instant of the latest request
+	requestWeight float64         // part of a second that it counts as
 
-	sharedUntil monotime.Micros // until then it goes by all instances' (Others): its own requests do not move it
-	requests    int             // requests since they were told of,
-	failed      int             // and such as went on in vain
+	sharedUntil monotime.Micros // until then value is a SharedLevel's, and own requests do not change it
+	requests    int             // since the last TakeObservations
+	failed      int             // the same, such as failed
 
-	load      float64 // the part of its aim that a request spends at an endpoint: mean of recent samples
+	load      float64 // part of its objective that a request spends at an endpoint, as a mean of recent samples
 	sampledAt monotime.Micros
 	samples   int
 }
 
-// see takes a sample in of the part of its aim that a request spends at an endpoint.
+// addSample takes in the part of its objective that a request spent at an endpoint.
 func (l *admissionLevel) addSample(now monotime.Micros, load float64) {
 	if !(load >= 0) {
 		return
@@ -60,13 +64,14 @@
 	elapsed := float64(max(0, now-l.sampledAt))
 	l.sampledAt = now
 	l.samples++
-	l.load += (min(load, maxLoadSample) - l.load) * max(1/float64(l.samples), min(maxLoadWeight, -math.Expm1(-elapsed/float64(loadSpan))))
+	weight := max(1/float64(l.samples), min(maxLoadWeight, -math.Expm1(-elapsed/float64(loadSpan))))
+	l.load += (min(load, maxLoadSample) - l.load) * weight
 }
 
-// full says whether the endpoints are taken for full.
+// saturated reports whether the endpoints count as saturated.
 func (l *admissionLevel) saturated() bool { return l.load > saturatedLoad }
 
-// asked tells of a request.
+// onRequest notes a request, and raises the level.
 func (l *admissionLevel) onRequest(now monotime.Micros) {
 	l.requestWeight = min(maxRequestWeight, float64(max(0, now-l.requestAt))/float64(second))
 	l.requestAt = now
@@ -81,7 +86,7 @@
 	l.value = min(1, l.value+l.requestWeight*rise)
 }
 
-// vain tells of a request that went on in vain.
+// onFailure notes that an admitted request failed, and lowers the level.
 func (l *admissionLevel) onFailure() {
 	l.failed++
 	if l.requestAt >= l.sharedUntil {
--- a/internal/decide/overload/probes.go
+++ b/internal/decide/overload/probes.go
@@ -7,32 +7,37 @@
 )
 
 const (
-	probeBucketSpan = second / 2 // for so long what was earned is kept: probes need not go in step with answers
-	minProbeBucket  = 3          // and so many at least: what two draws for a request need, and one beside them
+	probeBucketSpan = second / 2 // earned probes are available for this long: probes need not keep step with answers
+	minProbeBucket  = 3          // size of the bucket at least: two candidates of a request, and one probe beside them
 )
 
-// rates are what probes are bounded by.
+// probeLimits are the bounds on probes, in probes a second unless said otherwise.
 type probeLimits struct {
-	ratio         float64 // of a probe for each first attempt accepted
-	servedRate    float64 // of these, a second
-	minRate       float64 // probes a second beside that
-	maxEarnedRate float64 // of those that are earned, a second; infinite is no bound
-	borrowedRate  float64 // beside those
+	ratio         float64 // probes for each accepted first attempt
+	servedRate    float64 // accepted first attempts a second
+	minRate       float64 // sent in any case
+	maxEarnedRate float64 // of those that are earned; infinite is no bound
+	borrowedRate  float64 // lent by other instances, beyond maxEarnedRate
 }
 
-// rate is how many probes a second there is room for.
-func (r probeLimits) total() float64 {
-	return min(r.ratio*r.servedRate, r.maxEarnedRate+r.borrowedRate) + r.minRate
+// total is how many probes a second are within the limits.
+func (l probeLimits) total() float64 {
+	return min(l.ratio*l.servedRate, l.maxEarnedRate+l.borrowedRate) + l.minRate
 }
 
-// purse is what probes are earned by: a part of one for each first attempt that was accepted. Neither refusals nor repeats
-// fill it.
-type probeBucket struct{ tokens float64 }
+// probeBucket holds the probes that are earned: a part of one for each accepted first attempt. Rejected requests and
+// retries earn none.
+type probeBucket struct {
+	tokens float64
+}
 
+// earn adds the tokens of one accepted first attempt.
 func (p *probeBucket) earn(limits probeLimits) {
-	p.tokens = min(p.tokens+limits.ratio, max(minProbeBucket, limits.ratio*limits.servedRate*float64(probeBucketSpan)/float64(second)))
+	size := max(minProbeBucket, limits.ratio*limits.servedRate*float64(probeBucketSpan)/float64(second))
+	p.tokens = min(p.tokens+limits.ratio, size)
 }
 
+// take removes a token, and reports whether there was one.
 func (p *probeBucket) take() bool {
 	if p.tokens < 1 {
 		return false
@@ -41,8 +46,8 @@
 	return true
 }
 
-// Probe says whether a probe may go out, and takes it out of the budget: of what the instance has by itself, or else of what
-// lent takes of what others lend; nil lends nothing.
+// TakeProbe reports whether a probe may be sent, and takes it out of the budget: out of the instance's own, or
+// else out of what borrow obtains from other instances. A nil borrow obtains nothing.
 func (c *Controller) TakeProbe(now monotime.Micros, borrow func() bool) bool {
 	c.startSecond(now)
 	switch {
@@ -61,12 +66,22 @@
 	return true
 }
 
-// rates returns what probes are bounded by.
+// probeLimits returns the bounds on this instance's probes.
 func (c *Controller) probeLimits(now monotime.Micros) probeLimits {
-	limits := probeLimits{ratio: c.settings.ProbeRatio, servedRate: c.servedFirst.rate(now), minRate: c.settings.MinEndpointProbes * float64(c.endpoints) / float64(c.settings.Instances), maxEarnedRate: math.Inf(1), borrowedRate: c.borrowedProbeRate}
-	// The own part of the fleet's load: what is served to this instance, of what endpoints say that they serve to all.
-	if fleetRate := c.endpointRate.valueOr(0) * float64(c.endpoints); c.settings.MaxEndpointProbes > 0 && fleetRate > 0 {
-		limits.maxEarnedRate = c.local.probes * max(0, c.settings.MaxEndpointProbes-c.settings.MinEndpointProbes) * float64(c.endpoints) * min(1, limits.servedRate/fleetRate)
+	s := &c.settings
+	limits := probeLimits{
+		ratio:         s.ProbeRatio,
+		servedRate:    c.servedFirst.rate(now),
+		minRate:       s.MinEndpointProbes * float64(c.endpoints) / float64(s.Instances),
+		maxEarnedRate: math.Inf(1),
+		borrowedRate:  c.borrowedProbeRate,
+	}
+	fleetRate := c.endpointRate.valueOr(0) * float64(c.endpoints)
+	if s.MaxEndpointProbes > 0 && fleetRate > 0 {
+		// This instance's part of the fleet's load: what it is served, of what endpoints report to serve to all.
+		part := min(1, limits.servedRate/fleetRate)
+		perEndpoint := max(0, s.MaxEndpointProbes-s.MinEndpointProbes)
+		limits.maxEarnedRate = c.local.probes * perEndpoint * float64(c.endpoints) * part
 	}
 	return limits
 }
--- a/internal/decide/overload/settings.go
+++ b/internal/decide/overload/settings.go
@@ -1,11 +1,17 @@
-// Package overload decides, for one instance of a fleet that shares endpoints without words between its instances, what of
-// its work is turned away while the endpoints cannot do all that is asked, and what is left then of what only adds to their
-// load: further attempts and probes. It is told of its own demand, of its outcomes and of what endpoints report of their
-// whole load, in which the others' traffic is. From the same evidence all instances come to the same level, whatever they
-// have done before. It is a deterministic state machine for one caller at a time: no I/O, no clock, chance by a seed. It may
-// not know balancers, lists, requests or sockets; what it decides reaches the balancer as bounds.
+// Package overload limits what one instance of a fleet adds to the load of endpoints that all instances share.
+// While the endpoints cannot serve all requests it decides which part of the requests is admitted, and how many
+// retries and probes may still be sent. Instances need not communicate: each goes by its own demand, the
+// outcomes of its attempts, and the load reports of endpoints, which cover the traffic of all instances.
 //
-// level.go holds how much is turned away, order.go in which order, budget.go what is left of further attempts and probes.
+// The admission level (level.go) is controlled by additive increase and multiplicative decrease (AIMD: Chiu and
+// Jain, "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance in Computer Networks",
+// 1989), so that instances with the same evidence converge to the same level. A fleet that communicates may
+// share one level (shared_level.go). Which classes and tenants are shed first at a level is decided in
+// shedding.go. Retries are bounded by a retry budget (Beyer et al., "Site Reliability Engineering", 2016,
+// chapter 21), here a ratio of the accepted first attempts, and probes by a rate for each endpoint (probes.go).
+//
+// A Controller is a deterministic state machine for one goroutine at a time. The package does no I/O, reads no
+// clock and draws from a seed only; it must not import the balancer, endpoint lists, requests or sockets.
 package overload
 
 import (
@@ -19,47 +25,69 @@
 
 // Class is a class of requests.
 type Class struct {
-	PriorityWeight   float64 // of one request in its aim
+	PriorityWeight   float64 // of one request that is answered within its objective
 	LatencyObjective monotime.Micros
 }
 
-// Tenant is one of those who share the service.
-type Tenant struct{ Allowance float64 } // requests a second over all instances; 0 is none
+// Tenant is one of the tenants that share the service.
+type Tenant struct {
+	Allowance float64 // requests a second over all instances; 0 is none
+}
 
-// Goal weighs what is judged: all worth, and the class served worst.
-type Goal struct{ Overall, WorstClass float64 }
+// Goal weighs what the service is measured by: the priority weight served over all requests, and that of the class that
+// is served worst.
+type Goal struct {
+	Overall    float64
+	WorstClass float64
+}
 
-// Settings are an instance's. The zero value of a part is what holds where nothing is said.
+// Settings configure a Controller.
 type Settings struct {
 	Classes         []Class
 	Tenants         []Tenant
-	OverShareWeight float64 // what a tenant's request beyond its share is worth, 0 to 1
+	OverShareWeight float64 // factor on the priority weight of requests over their tenant's share, 0 to 1
 	Goal            Goal
-	Instances       int // as far as told, this one included: it divides the least of probes only
+	Instances       int // in the fleet as far as known, this one included; divides MinEndpointProbes only
 	Seed            uint64
 
-	RetryRatio           float64 // further attempts for each first one that was accepted, within any second;
-	OverloadedRetryRatio float64 // and so many while work is turned away or many attempts fail
-	ProbeRatio           float64 // probes for each first attempt that was accepted
-	MaxEndpointProbes    float64 // probes a second that one endpoint gets of all instances together, at most
-	MinEndpointProbes    float64 // and at least, so that one that recovers is found
+	// Retries and hedged requests for each first attempt that was accepted, within any second: as a rule, and
+	// while work is shed or many attempts fail.
+	RetryRatio           float64
+	OverloadedRetryRatio float64
+
+	ProbeRatio        float64 // probes for each first attempt that was accepted
+	MaxEndpointProbes float64 // probes a second of all instances at one endpoint, at most; 0 is no bound
+	MinEndpointProbes float64 // and at least, so that an endpoint that recovers is found
 }
 
-// Shipped returns the budgets that hold where the operators turn this on and say no more. A fifth of further attempts is what
-// a pool has without it; a twentieth under overload, since twice as many may have been accepted in the last second as are first
-// ones in the next, as endpoints begin to fail, and a tenth of those is the bound. Two probes for each that was accepted are the
-// two draws that a request waits for; many requests share one, so that far fewer are made. A hundred a second cost an endpoint a
-// hundredth of a core at 0.1 ms each, and one a second finds it again within a second once it recovers.
+// DefaultSettings returns the budgets that hold where the operators set no others.
+//
+// A retry ratio of a fifth is what a pool has without overload control. Under overload it is a twentieth: as
+// endpoints begin to fail, the last second may hold twice as many accepted first attempts as the next second
+// has first attempts, and a tenth of those is the bound. Two probes for each accepted first attempt are the two
+// candidates that a request waits for; many requests share one, so that far fewer are made. A hundred probes a
+// second cost an endpoint a hundredth of a core at 0.1 ms each, and one a second finds it again within a second
+// after it recovers.
 func DefaultSettings() Settings {
-	return Settings{RetryRatio: 0.2, OverloadedRetryRatio: 0.05, ProbeRatio: 2, MaxEndpointProbes: 100, MinEndpointProbes: 1}
+	return Settings{
+		RetryRatio:           0.2,
+		OverloadedRetryRatio: 0.05,
+		ProbeRatio:           2,
+		MaxEndpointProbes:    100,
+		MinEndpointProbes:    1,
+	}
 }
 
-// SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Reason string }
+// SettingError names an invalid setting.
+type SettingError struct {
+	Key    string // of the setting
+	Reason string
+}
 
-// Error says which, and why.
+// Error returns the key and the reason.
 func (e *SettingError) Error() string { return fmt.Sprintf("overload: %s: %s", e.Key, e.Reason) }
 
+// validate returns a *SettingError for the first setting that is invalid.
 func (s *Settings) validate() error {
 	if len(s.Classes) == 0 {
 		return &SettingError{"classes", "at least one is needed"}
@@ -69,13 +97,22 @@
 			return &SettingError{fmt.Sprintf("classes.%d", i), "worth must not be negative, aim must be positive"}
 		}
 	}
-	for _, v := range []struct {
-		key  string
-		v, m float64
-	}{{"further", s.RetryRatio, 10}, {"further_sick", s.OverloadedRetryRatio, 10}, {"probes", s.ProbeRatio, 100}, {"node_probes", s.MaxEndpointProbes, 1e6},
-		{"node_least", s.MinEndpointProbes, 1e6}, {"over_share", s.OverShareWeight, 1}, {"goal.whole", s.Goal.Overall, 1e6}, {"goal.worst_class", s.Goal.WorstClass, 1e6}} {
-		if !(v.v >= 0 && v.v <= v.m) {
-			return &SettingError{v.key, fmt.Sprintf("must be in 0..%v", v.m)}
+	for _, setting := range []struct {
+		key   string
+		value float64
+		max   float64
+	}{
+		{"further", s.RetryRatio, 10},
+		{"further_sick", s.OverloadedRetryRatio, 10},
+		{"probes", s.ProbeRatio, 100},
+		{"node_probes", s.MaxEndpointProbes, 1e6},
+		{"node_least", s.MinEndpointProbes, 1e6},
+		{"over_share", s.OverShareWeight, 1},
+		{"goal.whole", s.Goal.Overall, 1e6},
+		{"goal.worst_class", s.Goal.WorstClass, 1e6},
+	} {
+		if !(setting.value >= 0 && setting.value <= setting.max) {
+			return &SettingError{setting.key, fmt.Sprintf("must be in 0..%v", setting.max)}
 		}
 	}
 	if s.Instances < 1 {
--- a/internal/decide/overload/window.go
+++ b/internal/decide/overload/window.go
@@ -1,40 +1,42 @@
 package overload
 
-import (
-	"dunlinsail/internal/monotime"
-)
+import "dunlinsail/internal/monotime"
 
-// quota lets out so many within any second, however few that are: of a part of one there is one with that chance, drawn once a
-// second. So the sum over many quiet instances is what it is meant to be, and nothing that thousands saved up in calm can come
-// in one second. What a second has is settled at its beginning: were it looked at whenever it is asked, the moments of chance
-// in which it is high would all be used.
+// secondBudget bounds how many events happen within any second, also where the bound is below one: of a
+// fraction of an event there is one with that probability, drawn once a second. So the sum over many idle
+// instances is what it should be, and events that thousands of instances did not use earlier cannot all come in
+// the same second. The limit of a second is fixed at its beginning: if it followed each change, instances would
+// use every moment in which it is high by chance.
 type secondBudget struct {
 	seed          uint64
-	currentSecond monotime.Micros // that most is of
+	currentSecond monotime.Micros // that limit is of
 	limit         float64
 	sent          slidingWindow
 }
 
-// roll settles what a second has, once; it must be called before what came in it is counted.
-func (q *secondBudget) start(now monotime.Micros, limit float64) {
-	if n := now / second; n != q.currentSecond {
-		q.currentSecond, q.limit = n, limit
+// start fixes the limit of a second, once; it must be called before the events of that second are counted.
+func (b *secondBudget) start(now monotime.Micros, limit float64) {
+	if n := now / second; n != b.currentSecond {
+		b.currentSecond = n
+		b.limit = limit
 	}
 }
 
-// may says whether one more is within that, and within a bound of the moment.
-func (q *secondBudget) allows(now monotime.Micros, upperBound float64) bool {
-	return float64(q.sent.count(now, true))+seededFraction(q.seed, uint64(now/second)+1) < min(q.limit, upperBound)
+// allows reports whether one more event is within the limit of the second, and within an upper bound as of now.
+func (b *secondBudget) allows(now monotime.Micros, upperBound float64) bool {
+	return float64(b.sent.count(now, true))+seededFraction(b.seed, uint64(now/second)+1) < min(b.limit, upperBound)
 }
 
+// bucketsPerSecond is the resolution of a slidingWindow.
 const bucketsPerSecond = 10
 
-// window counts what came within so many tenths of the latest seconds, the present one included.
+// slidingWindow counts the events of the last second in tenths, the present one included.
 type slidingWindow struct {
-	buckets [bucketsPerSecond + 1]int
-	head    monotime.Micros
+	buckets [bucketsPerSecond + 1]int // a ring
+	head    monotime.Micros           // number of the present tenth since the clock's origin
 }
 
+// advance moves the window to now, and returns the present bucket.
 func (w *slidingWindow) advance(now monotime.Micros) *int {
 	bucket := now / (second / bucketsPerSecond)
 	n := monotime.Micros(len(w.buckets))
@@ -49,13 +51,15 @@
 	return &w.buckets[w.head%n]
 }
 
+// add counts an event.
 func (w *slidingWindow) add(now monotime.Micros) { *w.advance(now)++ }
 
-// count returns how many there were within a second at the most, or at the least.
+// count returns the events of the last second: the most that it can hold, where includePartial adds all of the oldest
+// tenth, or the least.
 func (w *slidingWindow) count(now monotime.Micros, includePartial bool) (n int) {
 	w.advance(now)
-	for _, v := range w.buckets {
-		n += v
+	for _, events := range w.buckets {
+		n += events
 	}
 	if !includePartial {
 		n -= w.buckets[(w.head+1)%monotime.Micros(len(w.buckets))] // the oldest tenth
@@ -63,7 +67,8 @@
 	return n
 }
 
-// draw is a number in 0..1 that a seed and a number give, without order (SplitMix64).
+// seededFraction returns a number in [0,1) that depends on the seed and n only (SplitMix64: Steele, Lea, Flood, "Fast
+// Splittable Pseudorandom Number Generators", 2014).
 func seededFraction(seed, n uint64) float64 {
 	z := seed + 0x9e3779b97f4a7c15*(n+1)
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
--- a/internal/decide/route/match.go
+++ b/internal/decide/route/match.go
@@ -7,18 +7,19 @@
 
 // The results of Match that are no route.
 const (
-	NotFound   = -1 // no route has this host and path, or none whose headers fit
-	NotAllowed = -2 // some have, but not for this method
+	NotFound   = -1 // no pattern has this host and path, or none of those has these headers
+	NotAllowed = -2 // some have, but not this method
 )
 
-// Match returns the place of the pattern that takes a request, or why there is none. The host and the path must be
-// in the form that Host and Normalize return. It allocates nothing, and takes a time that grows with the path's
-// segments and the host's labels only, but for patterns that differ in nothing but named segments, methods or headers.
+// Match returns the index of the pattern that matches a request, NotFound or NotAllowed. The host and the path
+// must be in the form that NormalizeHost and NormalizePath return. It allocates nothing, and takes time in
+// proportion to the path's segments and the host's labels only, but for patterns that differ in nothing but
+// parameters, methods or headers.
 func (t *Table) Match(host, path, method string, headers map[string][]string) int {
-	m := search{method: method, headers: headers, result: NotFound}
+	s := search{method: method, headers: headers, result: NotFound}
 	rest := path[1:]
-	if root := t.exactHosts[host]; root != nil && m.walk(root, rest, false) {
-		return m.result
+	if root := t.exactHosts[host]; root != nil && s.walk(root, rest, false) {
+		return s.result
 	}
 	if len(t.hostSuffixes) > 0 {
 		for suffix := host; ; {
@@ -27,58 +28,62 @@
 				break
 			}
 			suffix = suffix[i+1:]
-			if root := t.hostSuffixes[suffix]; root != nil && m.walk(root, rest, false) {
-				return m.result
+			if root := t.hostSuffixes[suffix]; root != nil && s.walk(root, rest, false) {
+				return s.result
 			}
 		}
 	}
-	if t.anyHost != nil && m.walk(t.anyHost, rest, false) {
-		return m.result
+	if t.anyHost != nil {
+		s.walk(t.anyHost, rest, false)
 	}
-	return m.result
+	return s.result
 }
 
+// search is the state of a Match.
 type search struct {
 	method  string
 	headers map[string][]string
 	result  int
 }
 
-// walk looks for the most specific pattern from a node on, and says whether there is one. over says that no segment
-// is left.
-func (m *search) walk(n *node, rest string, atEnd bool) bool {
+// walk searches the most specific entry from a node on, and reports whether there is one. atEnd is set if no segment is
+// left.
+func (s *search) walk(n *node, rest string, atEnd bool) bool {
 	if atEnd {
-		return m.matchEntries(n.exactEntries) || m.matchEntries(n.prefixEntries)
+		return s.matchEntries(n.exactEntries) || s.matchEntries(n.prefixEntries)
 	}
 	segment, remaining, last := cutSegment(rest)
-	if child := n.literals[segment]; child != nil && m.walk(child, remaining, last) {
+	if child := n.literals[segment]; child != nil && s.walk(child, remaining, last) {
 		return true
 	}
-	if segment != "" && n.parameter != nil && m.walk(n.parameter, remaining, last) {
+	if segment != "" && n.parameter != nil && s.walk(n.parameter, remaining, last) {
 		return true
 	}
-	return m.matchEntries(n.prefixEntries)
+	return s.matchEntries(n.prefixEntries)
 }
 
-func (m *search) matchEntries(list []entry) bool {
-	for i := range list {
-		e := &list[i]
-		if !m.matchHeaders(e.headers) {
+// matchEntries sets the result to the first entry that matches the headers and the method, and reports whether there is
+// one.
+func (s *search) matchEntries(entries []entry) bool {
+	for i := range entries {
+		e := &entries[i]
+		if !s.matchHeaders(e.headers) {
 			continue
 		}
-		if len(e.methods) == 0 || slices.Contains(e.methods, m.method) {
-			m.result = e.index
+		if len(e.methods) == 0 || slices.Contains(e.methods, s.method) {
+			s.result = e.index
 			return true
 		}
-		m.result = NotAllowed
+		s.result = NotAllowed
 	}
 	return false
 }
 
-func (m *search) matchHeaders(headers []Header) bool {
-	for _, h := range headers {
-		v := m.headers[h.Name]
-		if len(v) == 0 || h.Value != "" && v[0] != h.Value {
+// matchHeaders reports whether the request meets all conditions on its headers.
+func (s *search) matchHeaders(conditions []Header) bool {
+	for _, h := range conditions {
+		values := s.headers[h.Name]
+		if len(values) == 0 || h.Value != "" && values[0] != h.Value {
 			return false
 		}
 	}
--- a/internal/decide/route/path.go
+++ b/internal/decide/route/path.go
@@ -7,7 +7,7 @@
 	"unicode/utf8"
 )
 
-// The errors of Normalize. Each stands for a path that two readers could understand differently, or that none can.
+// The errors of NormalizePath. Each is of a path that two servers could read differently, or that none can read.
 var (
 	ErrNoPath       = errors.New("the path does not begin with /")
 	ErrEscape       = errors.New("a % in the path is not followed by two hexadecimal digits")
@@ -19,20 +19,20 @@
 	ErrDotParameter = errors.New("a dot segment of the path has parameters")
 )
 
-// Slashes says what becomes of an encoded slash (%2F) or backslash (%5C) in a path.
+// EncodedSlashes is what becomes of an encoded slash (%2F) or backslash (%5C) in a path.
 type EncodedSlashes uint8
 
-// The rules on encoded slashes. Some servers take one for a slash and some do not, so that one and the same path
-// names two things: by default it is refused. It is never decoded.
+// The rules on encoded slashes. Some servers read one as a slash and some do not, so that the same path names
+// two resources: by default it is rejected. It is never decoded.
 const (
 	RejectEncodedSlashes EncodedSlashes = iota
 	KeepEncodedSlashes
 )
 
-// Normalize returns the one form of a request's path, without its query, that is matched and sent on: unreserved
-// characters are not escaped, all others that need it are, with capital digits (RFC 3986 section 6.2.2); dot
-// segments, also escaped ones, are resolved (section 5.2.4), with empty segments taken out first. What it returns
-// is its own normal form. It allocates nothing where the path already is and has no escapes.
+// NormalizePath returns the normal form of a request's path, without its query, which is matched and forwarded:
+// unreserved characters are not escaped, all others that need it are, with capital digits (RFC 3986, section
+// 6.2.2); dot segments, also escaped ones, are resolved (section 5.2.4) after empty segments are removed. The
+// result is its own normal form. It allocates nothing if the path is in normal form and has no escapes.
 func NormalizePath(path string, slashes EncodedSlashes) (string, error) {
 	if path == "" || path[0] != '/' {
 		return "", ErrNoPath
@@ -41,10 +41,13 @@
 		return path, nil
 	}
 	out := make([]byte, 0, len(path)+8)
-	decoded := make([]byte, 0, 64) // the segment, with nothing escaped
-	for rest, last := path[1:], false; !last; {
+	decoded := make([]byte, 0, 64) // of the segment
+	rest := path[1:]
+	last := false
+	for !last {
 		var segment string
-		if segment, rest, last = cutSegment(rest); segment == "" {
+		segment, rest, last = cutSegment(rest)
+		if segment == "" {
 			continue
 		}
 		segmentStart := len(out)
@@ -78,7 +81,7 @@
 	return string(out), nil
 }
 
-// segmentTo appends a segment's normal form to out, and its meaning to plain.
+// appendSegment appends a segment's normal form to out, and the segment without escapes to decoded.
 func appendSegment(out, decoded []byte, segment string, slashes EncodedSlashes) ([]byte, []byte, error) {
 	for i := 0; i < len(segment); i++ {
 		c := segment[i]
@@ -87,7 +90,8 @@
 			if i+2 >= len(segment) {
 				return nil, nil, ErrEscape
 			}
-			high, low := hexValue(segment[i+1]), hexValue(segment[i+2])
+			high := hexValue(segment[i+1])
+			low := hexValue(segment[i+2])
 			if high > 15 || low > 15 {
 				return nil, nil, ErrEscape
 			}
@@ -120,7 +124,7 @@
 	return out, decoded, nil
 }
 
-// isNormal says, without a doubt, that a path is its own normal form; where it says no, it may be still.
+// isNormal reports whether a path is certainly in normal form; it may be so even if the result is false.
 func isNormal(path string) bool {
 	for i := 0; i < len(path); i++ {
 		switch c := path[i]; {
@@ -135,7 +139,7 @@
 	return true
 }
 
-// next takes the first segment off a path without its first slash, and says whether it was the last.
+// cutSegment cuts the first segment off a path without its first slash, and reports whether it was the last.
 func cutSegment(path string) (segment, rest string, last bool) {
 	if i := strings.IndexByte(path, '/'); i >= 0 {
 		return path[:i], path[i+1:], false
@@ -143,19 +147,21 @@
 	return path, "", true
 }
 
-// Segment returns the n-th segment of a normal path, from 0; empty if there are not so many.
+// Segment returns the n-th segment of a path in normal form, from 0; "" if there are fewer.
 func Segment(path string, n int) string {
-	rest, last := strings.TrimPrefix(path, "/"), false
-	for segment := ""; !last; n-- {
-		if segment, rest, last = cutSegment(rest); n == 0 {
+	rest := strings.TrimPrefix(path, "/")
+	for last := false; !last; n-- {
+		var segment string
+		segment, rest, last = cutSegment(rest)
+		if n == 0 {
 			return segment
 		}
 	}
 	return ""
 }
 
-// Host returns the one form of a Host header that is matched: without its port, in small letters, without the dot
-// of the root. It allocates nothing where the host already is.
+// NormalizeHost returns the normal form of a Host header, which is matched: without its port, in lower case,
+// without the dot of the root. It allocates nothing if the host is in normal form.
 func NormalizeHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
@@ -163,11 +169,13 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
+// appendEscaped appends a byte as a percent-encoded triplet.
 func appendEscaped(out []byte, c byte) []byte {
 	const digits = "0123456789ABCDEF"
 	return append(out, '%', digits[c>>4], digits[c&15])
 }
 
+// hexValue returns the value of a hexadecimal digit, 255 if it is none.
 func hexValue(c byte) byte {
 	switch {
 	case '0' <= c && c <= '9':
@@ -180,12 +188,12 @@
 	return 255
 }
 
-// isUnreserved is RFC 3986 section 2.3.
+// isUnreserved reports whether a byte is an unreserved character (RFC 3986, section 2.3).
 func isUnreserved(c byte) bool {
 	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("-._~", c) >= 0
 }
 
-// pathChar is pchar of RFC 3986 section 3.3 but for escapes.
+// isPathChar is pchar of RFC 3986, section 3.3, but for escapes.
 var isPathChar = func() (is [256]bool) {
 	for c := range 256 {
 		is[c] = isUnreserved(byte(c)) || c != 0 && strings.IndexByte("!$&'()*+,;=:@", byte(c)) >= 0
--- a/internal/decide/route/table.go
+++ b/internal/decide/route/table.go
@@ -5,22 +5,23 @@
 	"strings"
 )
 
-// Table finds the route of a request. Make one with New; it may be used by many at once.
+// Table finds the route of a request. Make one with New; it may be used by several goroutines at once.
 type Table struct {
 	exactHosts   map[string]*node // by host
 	hostSuffixes map[string]*node // by what follows "*."
 	anyHost      *node
-	parameters   []map[string]int // of each pattern, the places of its named segments
+	parameters   []map[string]int // by pattern: the index of each parameter's segment
 }
 
-// node is the end of some segments, where paths go on or patterns end.
+// node is the node of a prefix tree that a number of segments leads to.
 type node struct {
 	literals      map[string]*node
 	parameter     *node
 	exactEntries  []entry // patterns whose path ends here, the most specific first
-	prefixEntries []entry // patterns that take all from here on
+	prefixEntries []entry // patterns that match all paths from here on, the same
 }
 
+// entry is a pattern, without its host and path.
 type entry struct {
 	index         int
 	methods       []string
@@ -28,42 +29,52 @@
 	valuedHeaders int // headers that must have a value
 }
 
-// New makes a table of patterns, or says which is wrong: a *PatternError or a *ConflictError.
+// New returns a table of patterns, or a *PatternError or *ConflictError.
 func New(patterns []Pattern) (*Table, error) {
-	t := &Table{exactHosts: map[string]*node{}, hostSuffixes: map[string]*node{}, parameters: make([]map[string]int, len(patterns))}
+	t := &Table{
+		exactHosts:   map[string]*node{},
+		hostSuffixes: map[string]*node{},
+		parameters:   make([]map[string]int, len(patterns)),
+	}
 	for i := range patterns {
-		p := &patterns[i]
-		if key, reason := p.validate(); reason != "" {
-			return nil, &PatternError{i, key, reason}
-		}
-		root := t.hostNode(p.Host)
-		end, prefix, parameters := root.insertPath(p.Path)
-		t.parameters[i] = parameters
-		added := entry{index: i, methods: slices.Clone(p.Methods), headers: slices.Clone(p.Headers)}
-		for _, h := range added.headers {
-			if h.Value != "" {
-				added.valuedHeaders++
-			}
+		if err := t.insert(i, &patterns[i]); err != nil {
+			return nil, err
 		}
-		entries := &end.exactEntries
-		if prefix {
-			entries = &end.prefixEntries
+	}
+	return t, nil
+}
+
+// insert adds a pattern to the table.
+func (t *Table) insert(index int, p *Pattern) error {
+	if key, reason := p.validate(); reason != "" {
+		return &PatternError{index, key, reason}
+	}
+	end, prefix, parameters := t.hostNode(p.Host).insertPath(p.Path)
+	t.parameters[index] = parameters
+	added := entry{index: index, methods: slices.Clone(p.Methods), headers: slices.Clone(p.Headers)}
+	for _, h := range added.headers {
+		if h.Value != "" {
+			added.valuedHeaders++
 		}
-		position := len(*entries)
-		for j := range *entries {
-			switch other := &(*entries)[j]; {
-			case added.moreSpecificThan(other):
-				position = min(position, j)
-			case !other.moreSpecificThan(&added) && added.overlaps(other):
-				return nil, &ConflictError{other.index, i}
-			}
+	}
+	entries := &end.exactEntries
+	if prefix {
+		entries = &end.prefixEntries
+	}
+	position := len(*entries)
+	for i := range *entries {
+		switch other := &(*entries)[i]; {
+		case added.moreSpecificThan(other):
+			position = min(position, i)
+		case !other.moreSpecificThan(&added) && added.overlaps(other):
+			return &ConflictError{other.index, index}
 		}
-		*entries = slices.Insert(*entries, position, added)
 	}
-	return t, nil
+	*entries = slices.Insert(*entries, position, added)
+	return nil
 }
 
-// root returns the tree of a pattern's host.
+// hostNode returns the root of a pattern's host, and makes it if need be.
 func (t *Table) hostNode(host string) *node {
 	if host == "" {
 		if t.anyHost == nil {
@@ -73,7 +84,8 @@
 	}
 	nodes := t.exactHosts
 	if suffix, ok := strings.CutPrefix(host, "*."); ok {
-		nodes, host = t.hostSuffixes, suffix
+		nodes = t.hostSuffixes
+		host = suffix
 	}
 	if nodes[host] == nil {
 		nodes[host] = &node{}
@@ -81,7 +93,8 @@
 	return nodes[host]
 }
 
-// extend goes along a pattern's path, making what is missing.
+// insertPath returns the node at the end of a pattern's path, and makes what is missing on the way. It returns
+// also whether the path is a prefix, and the index of each parameter's segment.
 func (n *node) insertPath(path string) (end *node, prefix bool, parameters map[string]int) {
 	if path == "" {
 		return n, true, nil
@@ -90,52 +103,55 @@
 	if prefix && path == "" {
 		return n, true, nil
 	}
-	rest, last := path[1:], false
-	for position := 0; !last; position++ {
-		var segment string
-		segment, rest, last = cutSegment(rest)
-		if name, ok := parameterName(segment); ok {
-			if parameters == nil {
-				parameters = map[string]int{}
-			}
-			parameters[name] = position
-			if n.parameter == nil {
-				n.parameter = &node{}
-			}
-			n = n.parameter
+	for position, segment := range strings.Split(path[1:], "/") {
+		name, ok := parameterName(segment)
+		if !ok {
+			n = n.literalChild(segment)
 			continue
 		}
-		if n.literals == nil {
-			n.literals = map[string]*node{}
+		if parameters == nil {
+			parameters = map[string]int{}
 		}
-		if n.literals[segment] == nil {
-			n.literals[segment] = &node{}
+		parameters[name] = position
+		if n.parameter == nil {
+			n.parameter = &node{}
 		}
-		n = n.literals[segment]
+		n = n.parameter
 	}
 	return n, prefix, parameters
 }
 
-// before says whether e is more specific than o, of the same host and path.
-func (e *entry) moreSpecificThan(o *entry) bool {
-	if e.valuedHeaders != o.valuedHeaders {
-		return e.valuedHeaders > o.valuedHeaders
+// literalChild returns the node that a literal segment leads to, and makes it if need be.
+func (n *node) literalChild(segment string) *node {
+	if n.literals == nil {
+		n.literals = map[string]*node{}
+	}
+	if n.literals[segment] == nil {
+		n.literals[segment] = &node{}
+	}
+	return n.literals[segment]
+}
+
+// moreSpecificThan reports whether an entry is more specific than another of the same host and path.
+func (e *entry) moreSpecificThan(other *entry) bool {
+	if e.valuedHeaders != other.valuedHeaders {
+		return e.valuedHeaders > other.valuedHeaders
 	}
-	if len(e.headers) != len(o.headers) {
-		return len(e.headers) > len(o.headers)
+	if len(e.headers) != len(other.headers) {
+		return len(e.headers) > len(other.headers)
 	}
-	return len(e.methods) > 0 && len(o.methods) == 0
+	return len(e.methods) > 0 && len(other.methods) == 0
 }
 
-// meets says whether one request could fit both.
-func (e *entry) overlaps(o *entry) bool {
-	if len(e.methods) > 0 && len(o.methods) > 0 &&
-		!slices.ContainsFunc(e.methods, func(m string) bool { return slices.Contains(o.methods, m) }) {
+// overlaps reports whether one request could match both entries.
+func (e *entry) overlaps(other *entry) bool {
+	sharesMethod := func(method string) bool { return slices.Contains(other.methods, method) }
+	if len(e.methods) > 0 && len(other.methods) > 0 && !slices.ContainsFunc(e.methods, sharesMethod) {
 		return false
 	}
 	for _, h := range e.headers {
-		for _, other := range o.headers {
-			if h.Name == other.Name && h.Value != "" && other.Value != "" && h.Value != other.Value {
+		for _, o := range other.headers {
+			if h.Name == o.Name && h.Value != "" && o.Value != "" && h.Value != o.Value {
 				return false
 			}
 		}
@@ -143,7 +159,8 @@
 	return true
 }
 
-// Named returns the place, from 0, of a named segment in a pattern's path; Segment tells what stands there.
+// ParameterIndex returns the index, from 0, of a parameter's segment in a pattern's path; Segment returns its
+// value in a request's.
 func (t *Table) ParameterIndex(index int, name string) (position int, ok bool) {
 	position, ok = t.parameters[index][name]
 	return position, ok
--- a/internal/decide/subset/hash.go
+++ b/internal/decide/subset/hash.go
@@ -1,11 +1,12 @@
 package subset
 
+// randomFloat returns a number in [0,1) from the set's seed (SplitMix64).
 func (x *Set) randomFloat() float64 {
 	x.randState += 0x9e3779b97f4a7c15
 	return float64(mix64(x.randState)>>11) / (1 << 53)
 }
 
-// mix is SplitMix64's last step (Steele, Lea, Flood: "Fast Splittable Pseudorandom Number Generators", 2014).
+// mix64 is a step of SplitMix64 (Steele, Lea, Flood: "Fast Splittable Pseudorandom Number Generators", 2014).
 func mix64(z uint64) uint64 {
 	z += 0x9e3779b97f4a7c15
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
@@ -13,7 +14,7 @@
 	return z ^ z>>31
 }
 
-// text is FNV-1a of a text, 64 bits.
+// hashString is the 64-bit FNV-1a hash of a string.
 func hashString(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := range len(s) {
--- a/internal/decide/subset/ring.go
+++ b/internal/decide/subset/ring.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// placed is an endpoint on the ring.
+// ringEntry is an endpoint on the ring.
 type ringEntry struct {
 	Endpoint
 	hash    uint64
@@ -14,8 +14,12 @@
 	start   float64 // where it begins, in weight
 }
 
-// arcs is into how many the ring is cut: a power of two, so that a list that grows or shrinks by a few hardly ever
-// changes it. Each arc then has Least to twice as many members.
+// minShare is the part of an arc below which an endpoint does not lie on it: by rounding, an endpoint may seem
+// to end behind the point at which the arc begins.
+const minShare = 1e-9
+
+// arcCount is how many arcs the ring is cut into: a power of two, so that a list that grows or shrinks by a few
+// endpoints hardly ever changes it. Each arc then has targetSize to twice as many members.
 func (x *Set) arcCount() uint64 {
 	n := uint64(1)
 	for 2*n*uint64(x.targetSize()) <= uint64(len(x.ring)) {
@@ -24,40 +28,41 @@
 	return n
 }
 
-// size is how many members the instance wants: more than Least only while nodes have room for that much held at rest.
+// targetSize is how many members the instance should have: more than MinMembers only while the endpoints'
+// budgets of idle connections allow it.
 func (x *Set) targetSize() int {
 	if x.settings.EndpointIdleConnections == 0 {
 		return x.settings.MinMembers
 	}
-	return max(x.settings.MinMembers, int(x.settings.EndpointIdleConnections*float64(len(x.ring))/float64(x.settings.Instances)))
+	connections := x.settings.EndpointIdleConnections * float64(len(x.ring))
+	return max(x.settings.MinMembers, int(connections/float64(x.settings.Instances)))
 }
 
-// lay puts the endpoints on the ring of this instance's lot: those of each zone in the order of their hashes, spread
-// evenly over the ring, so that any arc has of every zone its part.
+// buildRing places the endpoints on the ring of this instance's group: those of each zone in the order of their hashes,
+// spread evenly over the ring, so that any arc has its part of each zone.
 func (x *Set) buildRing() {
-	shuffle := mix64(x.settings.Position / x.arcCount())
-	zones := map[int]float64{}
+	group := mix64(x.settings.Position / x.arcCount())
+	zoneWeights := map[int]float64{}
 	x.totalWeight = 0
 	for i := range x.ring {
-		p := &x.ring[i]
-		p.hash = mix64(shuffle ^ hashString(p.ID))
-		zones[p.Zone] += p.Weight
-		x.totalWeight += p.Weight
-	}
-	byHash := func(a, b ringEntry) int {
-		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+		entry := &x.ring[i]
+		entry.hash = mix64(group ^ hashString(entry.ID))
+		zoneWeights[entry.Zone] += entry.Weight
+		x.totalWeight += entry.Weight
 	}
-	slices.SortFunc(x.ring, byHash)
+	slices.SortFunc(x.ring, compareByHash)
 	var sum float64
 	for i := range x.ring {
-		p := &x.ring[i]
-		if i == 0 || p.Zone != x.ring[i-1].Zone {
+		entry := &x.ring[i]
+		if i == 0 || entry.Zone != x.ring[i-1].Zone {
 			sum = 0
 		}
-		p.sortKey = (sum + p.Weight/2) / zones[p.Zone]
-		sum += p.Weight
+		entry.sortKey = (sum + entry.Weight/2) / zoneWeights[entry.Zone]
+		sum += entry.Weight
 	}
-	slices.SortFunc(x.ring, func(a, b ringEntry) int { return cmp.Or(cmp.Compare(a.sortKey, b.sortKey), byHash(a, b)) })
+	slices.SortFunc(x.ring, func(a, b ringEntry) int {
+		return cmp.Or(cmp.Compare(a.sortKey, b.sortKey), compareByHash(a, b))
+	})
 	sum = 0
 	for i := range x.ring {
 		x.ring[i].start = sum
@@ -65,7 +70,12 @@
 	}
 }
 
-// cut returns what lies on the arc. It grows towards its end.
+// compareByHash orders entries by zone, and within a zone by hash.
+func compareByHash(a, b ringEntry) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+}
+
+// arcMembers returns the endpoints on the arc if it is doubled so often. An arc grows at its end.
 func (x *Set) arcMembers(doublings int) []Member {
 	if len(x.ring) == 0 {
 		return nil
@@ -73,31 +83,36 @@
 	arcCount := float64(x.arcCount())
 	length := min(1, math.Pow(2, float64(doublings))/arcCount)
 	from := float64(x.settings.Position%x.arcCount()) / arcCount * x.totalWeight
-	var list []Member
-	add := func(from, to float64) {
-		i, _ := slices.BinarySearchFunc(x.ring, from, func(p ringEntry, at float64) int { return cmp.Compare(p.start+p.Weight, at) })
-		for ; i < len(x.ring) && x.ring[i].start < to; i++ {
-			p := &x.ring[i]
-			part := (min(to, p.start+p.Weight) - max(from, p.start)) / (length * x.totalWeight)
-			if part <= 1e-9 {
-				continue // it ends where the arc begins, but for rounding
-			}
-			if len(list) > 0 && list[0].ID == p.ID {
-				list[0].Share += part // both ends of the arc lie on it
-			} else {
-				list = append(list, Member{p.ID, part})
-			}
-		}
-	}
 	to := from + length*x.totalWeight
-	add(from, min(to, x.totalWeight))
+	members := x.appendSection(nil, from, min(to, x.totalWeight), length)
 	if to > x.totalWeight {
-		add(0, to-x.totalWeight)
+		members = x.appendSection(members, 0, to-x.totalWeight, length)
+	}
+	return members
+}
+
+// appendSection appends the endpoints between two points of the ring, in weight, to an arc's members; length is
+// the whole arc's, as a part of the ring.
+func (x *Set) appendSection(members []Member, from, to, length float64) []Member {
+	i, _ := slices.BinarySearchFunc(x.ring, from, func(entry ringEntry, at float64) int {
+		return cmp.Compare(entry.start+entry.Weight, at)
+	})
+	for ; i < len(x.ring) && x.ring[i].start < to; i++ {
+		entry := &x.ring[i]
+		share := (min(to, entry.start+entry.Weight) - max(from, entry.start)) / (length * x.totalWeight)
+		if share <= minShare {
+			continue
+		}
+		if len(members) > 0 && members[0].ID == entry.ID {
+			members[0].Share += share // both ends of the arc lie on it
+		} else {
+			members = append(members, Member{entry.ID, share})
+		}
 	}
-	return list
+	return members
 }
 
-// whole says whether the arc is the whole ring.
+// coversRing reports whether the arc, if it is doubled so often, is the whole ring.
 func (x *Set) coversRing(doublings int) bool {
 	return math.Pow(2, float64(doublings)) >= float64(x.arcCount())
 }
--- a/internal/decide/subset/set.go
+++ b/internal/decide/subset/set.go
@@ -7,21 +7,21 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Set is the members of one instance. Make one with New.
+// Set is the subset of endpoints of one instance. Make one with New; it is for one goroutine at a time.
 type Set struct {
 	settings       Settings
 	randState      uint64
 	ring           []ringEntry
-	totalWeight    float64
+	totalWeight    float64 // of the ring
 	unhealthy      map[string]bool
-	doublings      int             // how often the arc is doubled
-	nextStepAt     monotime.Micros // when to make the next step; 0 is never
-	nextStepWidens bool            // that step is one wider
-	load           float64         // own requests in flight, on the mean of some seconds
+	doublings      int             // how often the arc's length is doubled
+	nextStepAt     monotime.Micros // when to widen or narrow; 0 is never
+	nextStepWidens bool            // else it narrows
+	load           float64         // own requests in flight, as a mean of some seconds
 	members        []Member
 }
 
-// New returns a set without members, or an *Error.
+// New returns a set without members, or a *SettingError.
 func New(s Settings) (*Set, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
@@ -29,7 +29,7 @@
 	return &Set{settings: s, randState: mix64(s.Seed ^ 0x5eed), unhealthy: map[string]bool{}}, nil
 }
 
-// List takes the whole list. Entries whose IDs are empty or told before are passed over.
+// SetEndpoints sets the endpoint list. Entries with an empty ID, or one that stands in the list before, are ignored.
 func (x *Set) SetEndpoints(now monotime.Micros, endpoints []Endpoint) {
 	x.ring = x.ring[:0]
 	known := map[string]bool{}
@@ -52,7 +52,7 @@
 	x.update(now, false)
 }
 
-// Unwell tells that an endpoint fails, drains or is full, or no longer. It is whoever knows outcomes that says so.
+// SetUnhealthy sets whether an endpoint fails, drains or is full. The caller judges that by outcomes.
 func (x *Set) SetUnhealthy(now monotime.Micros, id string, unhealthy bool) {
 	if x.unhealthy[id] == unhealthy {
 		return
@@ -65,8 +65,8 @@
 	x.update(now, false)
 }
 
-// Load tells how many requests of its own the instance has in flight, on the mean of some seconds. What makes no sense is
-// passed over.
+// SetLoad sets how many of its own requests the instance has in flight, as a mean of some seconds. Values that
+// are invalid are ignored.
 func (x *Set) SetLoad(now monotime.Micros, inFlight float64) {
 	if inFlight >= 0 && !math.IsInf(inFlight, 0) {
 		x.load = inFlight
@@ -74,10 +74,10 @@
 	}
 }
 
-// Next returns when Advance has something to decide; ok says whether it ever has.
+// NextStep returns when Advance must be called; ok is false if no step is due at any time.
 func (x *Set) NextStep() (at monotime.Micros, ok bool) { return x.nextStepAt, x.nextStepAt > 0 }
 
-// Advance widens or narrows the set if that is due. It says whether the members changed.
+// Advance widens or narrows the set if that is due. It reports whether the members changed.
 func (x *Set) Advance(now monotime.Micros) bool {
 	if x.nextStepAt == 0 || now < x.nextStepAt {
 		return false
@@ -85,16 +85,17 @@
 	return x.update(now, true)
 }
 
-// look cuts the arc anew; due says that a step may be made now.
+// update determines the members anew, and reports whether they changed; due is set if a step may be made now.
 func (x *Set) update(now monotime.Micros, due bool) bool {
-	previous := x.doublings
+	previousDoublings := x.doublings
 	target := x.targetDoublings()
 	switch {
 	case target == x.doublings:
 		x.nextStepAt = 0
 	case due:
 		x.doublings = target
-		if target = x.targetDoublings(); target != x.doublings {
+		target = x.targetDoublings()
+		if target != x.doublings {
 			x.scheduleStep(now, target)
 		} else {
 			x.nextStepAt = 0
@@ -104,16 +105,17 @@
 	}
 	previousMembers := x.members
 	x.members = x.arcMembers(x.doublings)
-	return previous != x.doublings || !slices.Equal(previousMembers, x.members)
+	return previousDoublings != x.doublings || !slices.Equal(previousMembers, x.members)
 }
 
-// Members returns those this instance deals with, in the order of the ring. They are not to be changed.
+// Members returns the endpoints that this instance connects to, in the order of the ring. The caller must not
+// change them.
 func (x *Set) Members() []Member { return x.members }
 
-// Widened returns how often the arc is doubled at present.
+// Doublings returns how often the arc is doubled at present; 0 is the usual width.
 func (x *Set) Doublings() int { return x.doublings }
 
-// Budgets divides what the nodes have over the instances.
+// Budgets returns this instance's part of all endpoints' budgets.
 func (x *Set) Budgets() Budgets {
 	if x.settings.Instances == 0 {
 		return Budgets{}
--- a/internal/decide/subset/token_bucket.go
+++ b/internal/decide/subset/token_bucket.go
@@ -6,27 +6,30 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Bucket is a token bucket on the host's clock: so many a second, a burst at most. golang.org/x/time/rate does the same on
-// time.Time; here instants are the engine's, so that a run in simulated time comes to the same, and a part of a token a
-// minute adds up without a loss.
+// TokenBucket is a token bucket on the caller's clock. golang.org/x/time/rate does the same on time.Time; here
+// instants are the engine's, so that a run in simulated time has the same results, and rates of a part of a
+// token a minute lose nothing to rounding. The zero value has no limit.
 type TokenBucket struct {
-	Rate       float64 // a second; 0 is no bound
-	Burst      float64 // at most; under 1 it counts as 1, or nothing would ever go
+	Rate       float64 // tokens a second; 0 is no limit
+	Burst      float64 // tokens at most; below 1 it counts as 1, or there would never be a token
 	tokens     float64
 	refilledAt monotime.Micros
 	started    bool
 }
 
-// Take takes one token, or says when there may be one. A bucket begins with a part of one, drawn by its owner: instances that
-// start together would else all spend their first at once.
+// Take takes one token, or returns when there may be one. The bucket starts with the part of a token that initial says,
+// drawn by the caller: otherwise instances that start together would all take their first token at once.
 func (b *TokenBucket) Take(now monotime.Micros, initial float64) (ok bool, next monotime.Micros) {
 	if b.Rate <= 0 {
 		return true, now
 	}
 	if !b.started {
-		b.started, b.refilledAt, b.tokens = true, now, min(1, max(0, initial))
+		b.started = true
+		b.refilledAt = now
+		b.tokens = min(1, max(0, initial))
 	}
-	b.tokens = min(max(1, b.Burst), b.tokens+b.Rate*float64(max(0, now-b.refilledAt))/float64(second))
+	earned := b.Rate * float64(max(0, now-b.refilledAt)) / float64(second)
+	b.tokens = min(max(1, b.Burst), b.tokens+earned)
 	b.refilledAt = max(b.refilledAt, now)
 	if b.tokens >= 1 {
 		b.tokens--
--- a/internal/decide/zones/router.go
+++ b/internal/decide/zones/router.go
@@ -8,102 +8,105 @@
 )
 
 const (
-	initialFleetLimit    = 16 // requests in flight to a zone at first, by all instances together
-	windowDuration       = second / 2
-	minWindowOutcomes    = 8      // outcomes by which a zone is judged
-	recoverThreshold     = 0.9    // a step of a return goes on while so many are good,
-	downThreshold        = 0.3    // and a zone is lost when no more are
-	silenceTimeout       = second // so many attempts in flight and no answer for so long: it is cut off
-	minSilentInFlight    = 4
-	recoveryGrowth       = 1.5
-	ownOverLimit         = 3.0
-	spillInTimeThreshold = 0.95 // while so many of others' requests are good, more are welcome,
-	spillIncrease        = 0.05 // by so much a window,
-	spillDecrease        = 0.6  // else so many times as many
-	minSpillFactor       = 0.02
-	initialSpillFactor   = 0.3
-	reservedFraction     = 0.6         // of the spare room, kept from what is worth least
-	flapMemory           = 30 * second // up for so long, a zone's flaps are forgotten
-	jitter               = 0.25
+	initialFleetLimit = 16  // requests in flight to a zone at first, by all instances together
+	ownOverLimit      = 3.0 // times the learned limit up to which a zone's own requests do not spill
+	reservedFraction  = 0.6 // of the spare capacity, kept from the lowest class
+	jitter            = 0.25
+
+	// The learned limits of zones are tighter than a Limiter's default: requests must hardly wait in spare capacity.
+	growThreshold   = 1.0 / 16
+	shrinkThreshold = 1.0 / 8
 )
 
-// Request is a request that asks where it may go.
+// Request is a request to be routed.
 type Request struct {
-	Group        int
-	Class        int
-	OverShare    bool // it is beyond its tenant's share
-	RequiredZone int  // the one zone that it may go to, since a copy may have run there; -1 is none
+	Group        int  // index in Settings.ZonePreferences
+	Class        int  // index in Settings.ClassWeights
+	OverShare    bool // it is over its tenant's share
+	RequiredZone int  // the only zone it may go to, as an attempt may have run there; -1 is none
 }
 
-// Reason says why a request is turned away.
+// Reason is why a request is rejected.
 type Reason uint8
 
 // The reasons.
 const (
 	None              Reason = iota
-	NoZoneUp                 // none of its ranks is up
-	NoSpareCapacity          // the others have no room to spare for it
-	SpillLimitReached        // as much of its zone's traffic goes elsewhere as may
-	RequiredZoneDown         // the one zone that it may go to is lost
+	NoZoneUp                 // none of its zones is up
+	NoSpareCapacity          // the other zones have no spare capacity for it
+	SpillLimitReached        // Settings.MaxSpillFraction of its zone's traffic spills
+	RequiredZoneDown         // its required zone is down
 )
 
-var reasonTexts = [...]string{"", "no zone is up", "the other zones have no room to spare", "no more of this zone's traffic may go elsewhere",
-	"the zone that may have run it is lost"}
+var reasonTexts = [...]string{
+	"",
+	"no zone is up",
+	"the other zones have no spare capacity",
+	"no more of this zone's traffic may spill",
+	"the zone that may have run it is down",
+}
 
+// String returns the reason in words.
 func (r Reason) String() string { return reasonTexts[r] }
 
-// Answer says where a request may go.
+// Decision is where a request goes.
 type Decision struct {
-	Zone       int // -1 is nowhere: it is turned away
-	Spill      bool
+	Zone       int  // -1 is none: it is rejected
+	Spill      bool // the zone is not its first one
 	Reason     Reason
-	RetryAfter monotime.Micros // of one that is turned away
+	RetryAfter monotime.Micros // of a request that is rejected
 }
 
-// Table decides. Make one with New.
+// Router routes requests to zones. Make one with New; it is for one goroutine at a time.
 type Router struct {
 	settings   Settings
 	randState  uint64
-	classRanks []float64 // of each class: what part of all classes is worth more
+	classRanks []float64 // by class: part of the classes that has a higher priority weight
 	zones      []zone
 }
 
-// New returns a table in which all zones are up, or the error of settings that make no sense.
+// New returns a router with all zones up, or the error of settings that are invalid.
 func New(s Settings) (*Router, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	t := &Router{settings: s, randState: s.Seed, zones: make([]zone, s.Zones)}
-	for _, w := range s.ClassWeights {
+	for _, weight := range s.ClassWeights {
 		higher := 0
-		for _, o := range s.ClassWeights {
-			if o > w {
+		for _, other := range s.ClassWeights {
+			if other > weight {
 				higher++
 			}
 		}
 		t.classRanks = append(t.classRanks, float64(higher)/float64(len(s.ClassWeights)))
 	}
 	for i := range t.zones {
-		z := &t.zones[i]
-		limiter, err := concurrency.New(concurrency.Settings{Classes: len(s.ClassWeights), Min: s.MinInFlight, Max: s.MaxInFlight, Initial: min(s.MaxInFlight, max(s.MinInFlight, initialFleetLimit/s.Instances)),
-			Seed: s.Seed + uint64(i), GrowThreshold: 1.0 / 16, ShrinkThreshold: 1.0 / 8}) // what is spare must hardly wait
+		limiter, err := concurrency.New(concurrency.Settings{
+			Classes:         len(s.ClassWeights),
+			Min:             s.MinInFlight,
+			Max:             s.MaxInFlight,
+			Initial:         min(s.MaxInFlight, max(s.MinInFlight, initialFleetLimit/s.Instances)),
+			Seed:            s.Seed + uint64(i),
+			GrowThreshold:   growThreshold,
+			ShrinkThreshold: shrinkThreshold,
+		})
 		if err != nil {
 			return nil, err
 		}
-		z.limiter, z.nextDownTime, z.readyEndpoints, z.spillFactor = limiter, s.MinDownTime, 1, initialSpillFactor
+		z := &t.zones[i]
+		z.limiter = limiter
+		z.nextDownTime = s.MinDownTime
+		z.readyEndpoints = 1
+		z.spillFactor = initialSpillFactor
 	}
 	return t, nil
 }
 
-// Ask says where a request may go. The host then has the balancer pick within that zone, and tells with Sent what it
-// sent there, further tries included.
+// Choose returns the zone of a request. The caller has the balancer pick within it, and calls OnAttemptSent for
+// each attempt it sends there, retries included.
 func (t *Router) Choose(now monotime.Micros, r Request) Decision {
 	if r.RequiredZone >= 0 {
-		t.updateState(now, &t.zones[r.RequiredZone])
-		if t.zones[r.RequiredZone].state == Down {
-			return Decision{Zone: -1, Reason: RequiredZoneDown}
-		}
-		return Decision{Zone: r.RequiredZone}
+		return t.chooseRequired(now, r.RequiredZone)
 	}
 	preferences := t.settings.ZonePreferences[r.Group]
 	home := &t.zones[preferences[0]]
@@ -112,10 +115,11 @@
 	if t.admitsOwn(home) {
 		return Decision{Zone: preferences[0]}
 	}
-	reason := NoZoneUp
-	if home.spilled.rate(now) >= t.settings.MaxSpillFraction*home.requests.rate(now) && len(preferences) > 1 {
+	spillLimit := t.settings.MaxSpillFraction * home.requests.rate(now)
+	if home.spilled.rate(now) >= spillLimit && len(preferences) > 1 {
 		return t.reject(SpillLimitReached)
 	}
+	reason := NoZoneUp
 	for _, number := range preferences[1:] {
 		z := &t.zones[number]
 		t.updateState(now, z)
@@ -129,50 +133,61 @@
 		reason = NoSpareCapacity
 	}
 	if reason == NoZoneUp && home.state != Down {
-		return Decision{Zone: preferences[0]} // there is nowhere else: the balancer decides what is still worth sending
+		return Decision{Zone: preferences[0]} // there is no other zone: the balancer decides what is still sent
 	}
 	return t.reject(reason)
 }
 
-// turnAway advises when to return: when the room of a few requests may be free, not all at once.
+// chooseRequired decides on a request that may go to one zone only.
+func (t *Router) chooseRequired(now monotime.Micros, number int) Decision {
+	t.updateState(now, &t.zones[number])
+	if t.zones[number].state == Down {
+		return Decision{Zone: -1, Reason: RequiredZoneDown}
+	}
+	return Decision{Zone: number}
+}
+
+// reject returns the decision to reject a request, with jitter on its Retry-After.
 func (t *Router) reject(reason Reason) Decision {
 	return Decision{Zone: -1, Reason: reason, RetryAfter: t.jittered(second / 2)}
 }
 
-// admits says whether a zone takes one more of its own requests.
+// admitsOwn reports whether a zone takes one more of its own requests.
 func (t *Router) admitsOwn(z *zone) bool {
 	switch z.state {
 	case Down:
 		return false
 	case Recovering:
 		// An even part of the requests, and never more in flight than that part of what is known to fit.
-		if z.recoveryCredit += z.recoveryShare; z.recoveryCredit < 1 || z.inFlight >= max(1, int(z.recoveryShare*float64(z.limiter.Limit()))) {
+		z.recoveryCredit += z.recoveryShare
+		if z.recoveryCredit < 1 || z.inFlight >= max(1, int(z.recoveryShare*float64(z.limiter.Limit()))) {
 			z.recoveryCredit = min(z.recoveryCredit, 1)
 			return false
 		}
 		z.recoveryCredit--
 		return true
 	}
-	// Its own requests may wait for one another a little before they go elsewhere: what is learned to fit shrinks also
-	// when others' traffic fills it, and that must give way first.
+	// Own requests may wait for one another a little before they spill: the learned limit also shrinks when
+	// spill fills the zone, and the spill must give way first.
 	return float64(z.inFlight) < ownOverLimit*float64(z.limiter.Limit())
 }
 
-// room says whether a zone has room to spare for a request of others' traffic.
+// admitsSpill reports whether a zone has spare capacity for a request of another zone.
 func (t *Router) admitsSpill(z *zone, r Request) bool {
-	spare := t.settings.MaxSpareFraction * math.Max(0, float64(z.limiter.Limit()-(z.inFlight-z.spillInFlight)))
+	free := math.Max(0, float64(z.limiter.Limit()-(z.inFlight-z.spillInFlight)))
+	spare := t.settings.MaxSpareFraction * free
 	rank := t.classRanks[r.Class]
 	if r.OverShare {
-		rank = 1 // after all that is within a share
+		rank = 1 // behind all that is within a share
 	}
 	spare *= (1 - reservedFraction*rank) * z.spillFactor
-	if spare < 1 { // less than one place: that part of the time
+	if spare < 1 { // less than one request: with that probability
 		return z.spillInFlight == 0 && t.randomFloat() < spare
 	}
 	return float64(z.spillInFlight) < spare
 }
 
-// Sent notes an attempt that went to a zone. Further tries of a request count like first ones.
+// OnAttemptSent notes an attempt that was sent to a zone. Retries count as first attempts do.
 func (t *Router) OnAttemptSent(now monotime.Micros, number int, spill bool) {
 	z := &t.zones[number]
 	z.inFlight++
@@ -184,18 +199,18 @@
 	}
 }
 
-// Outcome is what came of an attempt.
+// Outcome is how an attempt ended.
 type Outcome struct {
 	Class        int
 	Spill        bool
 	Duration     monotime.Micros
-	InFlight     int  // in the zone when it went out, itself included
+	InFlight     int  // in the zone when it was sent, itself included
 	Served       bool // it was answered
-	InTime       bool // within the wanted time
-	Inconclusive bool // it says nothing of the zone: withdrawn, or never sent
+	InTime       bool // within its latency objective
+	Inconclusive bool // it tells nothing of the zone: cancelled, or never sent
 }
 
-// Done notes what came of an attempt.
+// OnAttemptEnded notes how an attempt ended.
 func (t *Router) OnAttemptEnded(now monotime.Micros, number int, o Outcome) {
 	z := &t.zones[number]
 	z.inFlight--
@@ -213,7 +228,7 @@
 		z.limiter.AddSample(now, o.Class, o.Duration, o.InFlight, o.InFlight >= z.limiter.Limit())
 	}
 	if o.Spill {
-		t.observeSpill(now, z, o.InTime)
+		z.observeSpill(now, o.InTime)
 	}
 	z.outcomes.total++
 	if o.InTime {
@@ -225,12 +240,12 @@
 // InFlight returns how many attempts are in flight in a zone.
 func (t *Router) InFlight(number int) int { return t.zones[number].inFlight }
 
-// spread draws a time around d, so that instances that decide alike do not decide at once.
+// jittered returns a duration around d, so that instances that decide alike do not act at once.
 func (t *Router) jittered(d monotime.Micros) monotime.Micros {
 	return monotime.Micros(float64(d) * (1 + jitter*(2*t.randomFloat()-1)))
 }
 
-// chance returns a number in [0,1) (SplitMix64).
+// randomFloat returns a number in [0,1) from the seed (SplitMix64).
 func (t *Router) randomFloat() float64 {
 	t.randState += 0x9e3779b97f4a7c15
 	x := t.randState
