--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -26,7 +26,7 @@
 // known are the versions that an instance keeps.
 type known struct {
 	file *config.Config
-	dir  *configcache.Dir
+	dir  *configcache.Cache
 	kept *rollout.PersistentState // never nil
 }
 
--- a/internal/bench/transport/xds/main.go
+++ b/internal/bench/transport/xds/main.go
@@ -22,8 +22,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := 0
-	c, err := xdsclient.New(xdsclient.Options{Control: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: stricttoml.Size{Bytes: 64 << 20}, RetryMost: stricttoml.Duration{Duration: time.Second}},
-		Name: "bench", Log: slog.New(slog.DiscardHandler), Offer: func(u xdsclient.Update) {
+	c, err := xdsclient.New(xdsclient.Options{Settings: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: stricttoml.Size{Bytes: 64 << 20}, RetryMost: stricttoml.Duration{Duration: time.Second}},
+		InstanceName: "bench", Log: slog.New(slog.DiscardHandler), OnUpdate: func(u xdsclient.Update) {
 			fmt.Println(len(u.Resources))
 			if n++; n == most {
 				cancel()
--- a/internal/bench/versions.go
+++ b/internal/bench/versions.go
@@ -44,7 +44,7 @@
 	}
 	defer service.Close()
 	p, err := s.daemon(ctx, bin, 2, "[connections]", fmt.Sprintf("[control]\naddress = %q\nplaintext = true\nstate = %q\ntrial = \"0s\"\ngap = \"10ms\"\n[connections]",
-		service.Addr, filepath.Join(s.dir, "versions")))
+		service.Address, filepath.Join(s.dir, "versions")))
 	if err != nil {
 		return err
 	}
@@ -83,13 +83,13 @@
 					number++
 					info := fmt.Sprint(number)
 					began := time.Now()
-					if err := service.Set(info, kinds[name](), nil); err != nil {
+					if err := service.SetResources(info, kinds[name](), nil); err != nil {
 						done <- err
 						return
 					}
-					for !service.Told("", info, "good") {
+					for !service.HasAnswer("", info, "good") {
 						if time.Since(began) > 5*time.Second {
-							done <- fmt.Errorf("version %s: %q", info, service.About("", info))
+							done <- fmt.Errorf("version %s: %q", info, service.Answers("", info))
 							return
 						}
 						time.Sleep(50 * time.Microsecond)
@@ -176,7 +176,7 @@
 		for range rounds {
 			addr := web.Listener.Addr().String()
 			if name == "xds" {
-				addr = service.Addr
+				addr = service.Address
 			}
 			cmd := exec.CommandContext(ctx, program, addr, fmt.Sprint(versions))
 			out, err := cmd.StdoutPipe()
@@ -187,15 +187,15 @@
 				return err
 			}
 			if name == "xds" {
-				for service.Streams() == 0 {
+				for service.OpenStreams() == 0 {
 					time.Sleep(time.Millisecond)
 				}
-				r, err := xdsserver.Response("1", all, nil)
+				r, err := xdsserver.NewResponse("1", all, nil)
 				if err != nil {
 					return err
 				}
 				for range versions {
-					service.Send(r)
+					service.Broadcast(r)
 				}
 			}
 			for lines := bufio.NewScanner(out); lines.Scan(); {
@@ -203,7 +203,7 @@
 			if err := cmd.Wait(); err != nil {
 				return err
 			}
-			for service.Streams() > 0 {
+			for service.OpenStreams() > 0 {
 				time.Sleep(time.Millisecond)
 			}
 			state := cmd.ProcessState
--- a/internal/configcache/golden_test.go
+++ b/internal/configcache/golden_test.go
@@ -79,7 +79,7 @@
 				t.Fatal(err)
 			}
 			got, from, err := golden.Load()
-			if err != nil || from != stateName {
+			if err != nil || from != stateFile {
 				t.Fatalf("from %q, %v", from, err)
 			}
 			if !reflect.DeepEqual(got, want) {
@@ -91,11 +91,11 @@
 }
 
 // checkRewritten saves a golden folder's states in their order to another folder, and compares the files of both.
-func checkRewritten(t *testing.T, golden *Dir, newest *rollout.PersistentState) {
+func checkRewritten(t *testing.T, golden *Cache, newest *rollout.PersistentState) {
 	t.Helper()
 	contents := map[string][]byte{}
 	for _, name := range names(t, golden) {
-		if digest, isContent := strings.CutPrefix(name, contentName); isContent {
+		if digest, isContent := strings.CutPrefix(name, contentPrefix); isContent {
 			text, err := golden.Content(digest)
 			if err != nil {
 				t.Fatal(err)
@@ -104,7 +104,7 @@
 		}
 	}
 	rewritten := open(t)
-	if before, err := golden.load(beforeName); err == nil {
+	if before, err := golden.loadState(previousStateFile); err == nil {
 		if err := rewritten.Save(before, contents); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/configcache/kept_test.go
+++ b/internal/configcache/kept_test.go
@@ -30,7 +30,7 @@
 	return all
 }
 
-func names(t *testing.T, d *Dir) (all []string) {
+func names(t *testing.T, d *Cache) (all []string) {
 	t.Helper()
 	entries, err := os.ReadDir(d.path)
 	if err != nil {
@@ -42,7 +42,7 @@
 	return all
 }
 
-func open(t *testing.T) *Dir {
+func open(t *testing.T) *Cache {
 	t.Helper()
 	d, err := Open(filepath.Join(t.TempDir(), "versions"))
 	if err != nil {
@@ -51,7 +51,7 @@
 	return d
 }
 
-func (d *Dir) good(t *testing.T) uint64 {
+func (d *Cache) good(t *testing.T) uint64 {
 	t.Helper()
 	k, _, err := d.Load()
 	if err != nil || k == nil {
@@ -85,15 +85,15 @@
 			t.Errorf("digest %q", bad)
 		}
 	}
-	whole, err := os.ReadFile(filepath.Join(d.path, stateName))
+	whole, err := os.ReadFile(filepath.Join(d.path, stateFile))
 	if err != nil {
 		t.Fatal(err)
 	}
 	for cut := range whole {
-		if err := os.WriteFile(filepath.Join(d.path, stateName), whole[:cut], 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(d.path, stateFile), whole[:cut], 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if k, from, err := d.Load(); from != beforeName || k.LastKnownGood.ControlPlane.Number != 3 || !errors.Is(err, ErrSpoilt) {
+		if k, from, err := d.Load(); from != previousStateFile || k.LastKnownGood.ControlPlane.Number != 3 || !errors.Is(err, ErrCorrupt) {
 			t.Fatalf("cut off at %d of %d: from %q, %v", cut, len(whole), from, err)
 		}
 	}
@@ -101,12 +101,12 @@
 	if err := d.Save(state(5, 4), contents(5, 4)); err != nil {
 		t.Fatal(err)
 	}
-	os.WriteFile(filepath.Join(d.path, stateName), nil, 0o600)
+	os.WriteFile(filepath.Join(d.path, stateFile), nil, 0o600)
 	if k, _, _ := d.Load(); k.LastKnownGood.ControlPlane.Number != 3 {
 		t.Errorf("before: %d", k.LastKnownGood.ControlPlane.Number)
 	}
-	os.Remove(filepath.Join(d.path, stateName))
-	if k, from, err := d.Load(); err != nil || from != beforeName || k == nil {
+	os.Remove(filepath.Join(d.path, stateFile))
+	if k, from, err := d.Load(); err != nil || from != previousStateFile || k == nil {
 		t.Errorf("without the newer: %q, %v", from, err)
 	}
 }
@@ -134,7 +134,7 @@
 		if got := d.good(t); got != 3 {
 			t.Errorf("%v: good %d", leave, got)
 		}
-		os.Remove(filepath.Join(d.path, stateName))
+		os.Remove(filepath.Join(d.path, stateFile))
 		if got := d.good(t); got != 2 {
 			t.Errorf("%v: before is %d: half a file took its place", leave, got)
 		}
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -49,7 +49,7 @@
 	roster    *discoveryserver.Server
 	ledger    *endpoint.Ledger
 	endpoints []*endpoint.Server
-	steward   *xdsserver.Service // nil without one
+	steward   *xdsserver.Server // nil without one
 	dir       string
 }
 
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -30,7 +30,7 @@
 	reads     uint64                       // of the file
 	files     map[string]*config.Config    // contents of the file, by digest: those that the machine may name
 	resources map[string][]config.Resource // contents of the service's versions
-	dir       *configcache.Dir             // nil where nothing is kept
+	dir       *configcache.Cache           // nil where nothing is kept
 	beside    sync.WaitGroup
 
 	control   config.Control // as it is followed
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	if config.Digest(all) != v.Digest {
-		return nil, configcache.ErrSpoilt
+		return nil, configcache.ErrCorrupt
 	}
 	p.resources[v.Digest] = all
 	return config.Combine(file, all)
@@ -173,8 +173,8 @@
 		return
 	}
 	var client *xdsclient.Client
-	client, err := xdsclient.New(xdsclient.Options{Control: c.Control, Name: c.Name, Zone: c.Fleet.Zone, Running: p.service(), Log: p.log,
-		Offer: func(u xdsclient.Update) {
+	client, err := xdsclient.New(xdsclient.Options{Settings: c.Control, InstanceName: c.Name, Zone: c.Fleet.Zone, Applied: p.service(), Log: p.log,
+		OnUpdate: func(u xdsclient.Update) {
 			p.post(func() {
 				if p.client == client {
 					p.offered(u)
@@ -206,8 +206,8 @@
 
 // offered takes a version in that the service sent.
 func (p *process) offered(u xdsclient.Update) {
-	if u.Wrong != "" {
-		p.do(p.machine.RejectUnreadable(u.Version, u.Wrong))
+	if u.DecodeError != "" {
+		p.do(p.machine.RejectUnreadable(u.Version, u.DecodeError))
 		return
 	}
 	if p.resources[u.Version.Digest] == nil {
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -24,7 +24,7 @@
 func (w *world) managed(addr, node string, more ...string) []string {
 	// Aims far beyond what a busy computer makes of these loads: what is worse here is so by what a version says.
 	return []string{"127.0.0.1:0", addr, `aim = "500ms"`, `aim = "2s"`, `give_up = "1s"`, `give_up = "10s"`, "[connections]", strings.NewReplacer(more...).Replace(`[control]
-address = "` + w.steward.Addr + `"
+address = "` + w.steward.Address + `"
 node = "` + node + `"
 plaintext = true
 state = "` + w.dir + `/` + node + `"
@@ -38,7 +38,7 @@
 }
 
 // withSteward gives a world a control service.
-func (w *world) withSteward(t *testing.T) *xdsserver.Service {
+func (w *world) withSteward(t *testing.T) *xdsserver.Server {
 	t.Helper()
 	var err error
 	if w.steward, err = xdsserver.Start(xdsserver.Options{}); err != nil {
@@ -69,18 +69,18 @@
 	return scriptedpeer.Within(t, got, "what runs"), c
 }
 
-func eventually(t *testing.T, s *xdsserver.Service, version, say string) {
+func eventually(t *testing.T, s *xdsserver.Server, version, say string) {
 	t.Helper()
-	for end := time.Now().Add(2 * scriptedpeer.Soon); !s.Told("", version, say); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * scriptedpeer.Soon); !s.HasAnswer("", version, say); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("version %s: %q, not %q", version, s.About("", version), say)
+			t.Fatalf("version %s: %q, not %q", version, s.Answers("", version), say)
 		}
 	}
 }
 
-func set(t *testing.T, s *xdsserver.Service, version string, all []config.Resource, release map[string]any) {
+func set(t *testing.T, s *xdsserver.Server, version string, all []config.Resource, release map[string]any) {
 	t.Helper()
-	if err := s.Set(version, all, release); err != nil {
+	if err := s.SetResources(version, all, release); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -162,8 +162,8 @@
 		set(t, s, version, harm, nil)
 		eventually(t, s, version, "refused: worse by service: service 1.0000 before, 0.")
 		scriptedpeer.Eventually(t, "the way back", func() bool { runs, _ := d.runs(t); return runs == "1 over file 1" })
-		s.Drop() // it is sent again
-		scriptedpeer.Eventually(t, "refused again", func() bool { return len(s.About("", version)) >= 3 })
+		s.DropStreams() // it is sent again
+		scriptedpeer.Eventually(t, "refused again", func() bool { return len(s.Answers("", version)) >= 3 })
 		if runs, _ := d.runs(t); runs != "1 over file 1" {
 			t.Errorf("%s runs", runs)
 		}
@@ -215,7 +215,7 @@
 	begins("another file", "2 over file 1", 5, append(edits, "worth = 5.0", "worth = 4.0")...)
 	begins("a file that pins it", "2 over file 1", 3, append(w.managed(addr, "i-1", "gap =", "pin = [\"listener\", \"attempts\"]\ngap ="),
 		"[attempts]", "[attempts]\nmost = 3")...)
-	begins("without a service", "file 1", 3, append(w.managed(addr, "i-1", w.steward.Addr, "", "plaintext = true", ""), "[attempts]", "[attempts]\nmost = 3")...)
+	begins("without a service", "file 1", 3, append(w.managed(addr, "i-1", w.steward.Address, "", "plaintext = true", ""), "[attempts]", "[attempts]\nmost = 3")...)
 	if err := os.Truncate(filepath.Join(state, "state"), 60); err != nil {
 		t.Fatal(err)
 	}
@@ -238,7 +238,7 @@
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
 	d := start(t, w.config(t, w.managed(freeAddr(t), "i-1")...))
-	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
 	state := filepath.Join(w.dir, "i-1")
 	if err := os.Symlink("/dev/full", filepath.Join(state, "state.part")); err != nil {
 		t.Fatal(err)
@@ -270,7 +270,7 @@
 	s := w.withSteward(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
-	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() > 0 })
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
 	k := take(t, w.dir+"/takeover.sock")
 	k.hear(decide.Offer)
 	set(t, s, "1", tries(2), nil)
@@ -286,8 +286,8 @@
 		t.Errorf("during a trial %s runs", runs)
 	}
 	eventually(t, s, "4", "trial")
-	if !s.Told("", "2", "good") || s.Told("", "3", "trial") {
-		t.Errorf("of 2 %q, of 3 %q", s.About("", "2"), s.About("", "3"))
+	if !s.HasAnswer("", "2", "good") || s.HasAnswer("", "3", "trial") {
+		t.Errorf("of 2 %q, of 3 %q", s.Answers("", "2"), s.Answers("", "3"))
 	}
 	// The file goes first, and ends the trial.
 	d.reload <- syscall.SIGHUP
@@ -315,7 +315,7 @@
 	if err := scriptedpeer.Within(t, next.ended, "end"); err != nil {
 		t.Error(err)
 	}
-	if said := s.About("", "5"); len(said) > 0 {
+	if said := s.Answers("", "5"); len(said) > 0 {
 		t.Errorf("while it ended: %q", said)
 	}
 	// The next process holds nothing against what that one had no time for.
@@ -335,7 +335,7 @@
 		if n == 0 {
 			set(t, s, "1", tries(2), nil)
 		}
-		scriptedpeer.Eventually(t, "a trial", func() bool { return len(s.About("", "1")) == n+1 })
+		scriptedpeer.Eventually(t, "a trial", func() bool { return len(s.Answers("", "1")) == n+1 })
 		if err := p.Process.Kill(); err != nil {
 			t.Fatal(err)
 		}
@@ -358,7 +358,7 @@
 }
 
 // runFleet has twenty instances serve while a control service sends versions, wave by wave, or none.
-func runFleet(t *testing.T, changes func(w *world, s *xdsserver.Service, nodes []string)) fleet {
+func runFleet(t *testing.T, changes func(w *world, s *xdsserver.Server, nodes []string)) fleet {
 	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	s := w.withSteward(t)
 	var nodes []string
@@ -372,7 +372,7 @@
 		all = append(all, start(t, w.config(t, edits...)))
 		ends = append(ends, steady(t, node, addr, 12))
 	}
-	scriptedpeer.Eventually(t, "the streams", func() bool { return s.Streams() == 20 })
+	scriptedpeer.Eventually(t, "the streams", func() bool { return s.OpenStreams() == 20 })
 	changes(w, s, nodes)
 	var f fleet
 	for _, end := range ends {
@@ -407,14 +407,14 @@
 	rand.New(rand.NewPCG(5, 5)).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	t.Log(order)
 	began := time.Now()
-	with := runFleet(t, func(w *world, s *xdsserver.Service, nodes []string) {
+	with := runFleet(t, func(w *world, s *xdsserver.Server, nodes []string) {
 		bad := 0
 		said := func(version, text string, by []string) {
 			t.Helper()
 			for end := time.Now().Add(3 * scriptedpeer.Soon); ; time.Sleep(5 * time.Millisecond) {
 				n := 0
 				for _, node := range by {
-					if s.Told(node, version, text) {
+					if s.HasAnswer(node, version, text) {
 						n++
 					}
 				}
@@ -422,7 +422,7 @@
 					return
 				}
 				if time.Now().After(end) {
-					t.Fatalf("version %s: %d of %d say %q; %q", version, n, len(by), text, s.About("", version))
+					t.Fatalf("version %s: %d of %d say %q; %q", version, n, len(by), text, s.Answers("", version))
 				}
 			}
 		}
@@ -437,18 +437,18 @@
 				said(info, broken[bad].reason, nodes)
 				bad++
 			case "harmful":
-				if err := s.SetFor(info, harm, nodes[:1]...); err != nil {
+				if err := s.SetResourcesForNodes(info, harm, nodes[:1]...); err != nil {
 					t.Fatal(err)
 				}
 				said(info, "refused: worse by service", nodes[:1])
-				if len(s.About(nodes[1], info)) > 0 {
+				if len(s.Answers(nodes[1], info)) > 0 {
 					t.Error("one that was not meant was sent it")
 				}
 			}
 		}
 	})
 	length := time.Since(began)
-	without := runFleet(t, func(*world, *xdsserver.Service, []string) { time.Sleep(length) })
+	without := runFleet(t, func(*world, *xdsserver.Server, []string) { time.Sleep(length) })
 	a, b := float64(with.served)/float64(with.asked), float64(without.served)/float64(without.asked)
 	t.Logf("%v: with versions %d of %d served, longest gap %v; without %d of %d, %v", length, with.served, with.asked, with.gap, without.served, without.asked, without.gap)
 	if a < b-0.01 || with.failed > without.failed+2 {
--- a/internal/fake/xdsserver/steward.go
+++ b/internal/fake/xdsserver/steward.go
@@ -23,77 +23,77 @@
 )
 
 // Word is one request of an instance.
-type Word struct {
-	Node    string
-	Running string // version_info: what it says to run
-	Nonce   string // of the response that it answers; "" is none
-	Version string // that was sent with that nonce
-	State   string // "good", "trial" or "refused", where it says so
-	Refused string // why
-	At      time.Time
+type Request struct {
+	Node            string
+	VersionInfo     string // version_info: what it says to run
+	ResponseNonce   string // of the response that it answers; "" is none
+	AnsweredVersion string // that was sent with that nonce
+	State           string // "good", "trial" or "refused", where it says so
+	ErrorDetail     string // why
+	ReceivedAt      time.Time
 }
 
 // Options are what a service is started with.
 type Options struct {
-	Addr        string // "" is any
+	Address     string // "" is any
 	Credentials credentials.TransportCredentials
 }
 
 // Service is a control service.
-type Service struct {
+type Server struct {
 	discovery.UnimplementedAggregatedDiscoveryServiceServer
 
-	Addr string
+	Address string
 
-	ln     *cutter
-	server *grpc.Server
+	listener   *resettingListener
+	grpcServer *grpc.Server
 
-	mu      sync.Mutex
-	current *discovery.DiscoveryResponse            // without nonce; nil is nothing
-	wave    map[string]*discovery.DiscoveryResponse // of single instances, in place of current
-	streams map[*stream]bool
-	words   []Word
-	opened  int // streams so far
-	nonce   atomic.Int64
+	mu            sync.Mutex
+	current       *discovery.DiscoveryResponse            // without nonce; nil is nothing
+	perNode       map[string]*discovery.DiscoveryResponse // of single instances, in place of current
+	streams       map[*stream]bool
+	requests      []Request
+	streamsOpened int // streams so far
+	lastNonce     atomic.Int64
 }
 
 // stream is one instance's.
 type stream struct {
-	node   string
-	out    chan *discovery.DiscoveryResponse
-	end    chan error
-	nonces map[string]string // version_info of what was sent
+	node           string
+	responses      chan *discovery.DiscoveryResponse
+	closed         chan error
+	versionByNonce map[string]string // version_info of what was sent
 }
 
 // Start starts a service that sends nothing yet.
-func Start(o Options) (*Service, error) {
+func Start(o Options) (*Server, error) {
 	if o.Credentials == nil {
 		o.Credentials = insecure.NewCredentials()
 	}
-	if o.Addr == "" {
-		o.Addr = "127.0.0.1:0"
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
 	}
-	ln, err := net.Listen("tcp", o.Addr)
+	ln, err := net.Listen("tcp", o.Address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{Addr: ln.Addr().String(), ln: &cutter{Listener: ln}, streams: map[*stream]bool{}, server: grpc.NewServer(grpc.Creds(o.Credentials), grpc.MaxSendMsgSize(1<<30))}
-	s.ln.left.Store(-1)
-	discovery.RegisterAggregatedDiscoveryServiceServer(s.server, s)
-	go s.server.Serve(s.ln)
+	s := &Server{Address: ln.Addr().String(), listener: &resettingListener{Listener: ln}, streams: map[*stream]bool{}, grpcServer: grpc.NewServer(grpc.Creds(o.Credentials), grpc.MaxSendMsgSize(1<<30))}
+	s.listener.remainingBytes.Store(-1)
+	discovery.RegisterAggregatedDiscoveryServiceServer(s.grpcServer, s)
+	go s.grpcServer.Serve(s.listener)
 	return s, nil
 }
 
 // Close ends the service and all its connections at once.
-func (s *Service) Close() { s.server.Stop() }
+func (s *Server) Close() { s.grpcServer.Stop() }
 
 // Drop ends all streams.
-func (s *Service) Drop() {
+func (s *Server) DropStreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for x := range s.streams {
 		select {
-		case x.end <- fmt.Errorf("dropped"):
+		case x.closed <- fmt.Errorf("dropped"):
 		default:
 		}
 	}
@@ -101,31 +101,31 @@
 
 // CutAfter cuts connections off, without a word, once so many more bytes have been written to them; a negative number ends
 // that.
-func (s *Service) CutAfter(bytes int64) { s.ln.left.Store(bytes) }
+func (s *Server) ResetConnectionsAfter(bytes int64) { s.listener.remainingBytes.Store(bytes) }
 
 // Words returns what was said so far.
-func (s *Service) Words() []Word {
+func (s *Server) Requests() []Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Word(nil), s.words...)
+	return append([]Request(nil), s.requests...)
 }
 
 // Opened returns how many streams were opened so far.
-func (s *Service) Opened() int {
+func (s *Server) StreamsOpened() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opened
+	return s.streamsOpened
 }
 
 // Streams returns how many streams there are.
-func (s *Service) Streams() int {
+func (s *Server) OpenStreams() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.streams)
 }
 
 // Response returns what is sent for a version.
-func Response(info string, all []config.Resource, release map[string]any) (*discovery.DiscoveryResponse, error) {
+func NewResponse(info string, all []config.Resource, release map[string]any) (*discovery.DiscoveryResponse, error) {
 	r := &discovery.DiscoveryResponse{VersionInfo: info, TypeUrl: xdsclient.TypeURL}
 	add := func(kind string, fields map[string]any) error {
 		value, err := structpb.NewStruct(fields)
@@ -160,34 +160,34 @@
 }
 
 // Set has all instances sent a version, at once and at the beginning of each stream, unless they say that they run it.
-func (s *Service) Set(info string, all []config.Resource, release map[string]any) error {
-	r, err := Response(info, all, release)
+func (s *Server) SetResources(info string, all []config.Resource, release map[string]any) error {
+	r, err := NewResponse(info, all, release)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.current, s.wave = r, nil
+	s.current, s.perNode = r, nil
 	s.mu.Unlock()
-	s.Send(r)
+	s.Broadcast(r)
 	return nil
 }
 
 // SetFor has single instances sent a version, as Set has all.
-func (s *Service) SetFor(info string, all []config.Resource, nodes ...string) error {
-	r, err := Response(info, all, nil)
+func (s *Server) SetResourcesForNodes(info string, all []config.Resource, nodes ...string) error {
+	r, err := NewResponse(info, all, nil)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.wave == nil {
-		s.wave = map[string]*discovery.DiscoveryResponse{}
+	if s.perNode == nil {
+		s.perNode = map[string]*discovery.DiscoveryResponse{}
 	}
 	for _, node := range nodes {
-		s.wave[node] = r
+		s.perNode[node] = r
 	}
 	for x := range s.streams {
-		if s.wave[x.node] == r {
+		if s.perNode[x.node] == r {
 			s.sendLocked(x, r)
 		}
 	}
@@ -195,14 +195,14 @@
 }
 
 // Keep has a response sent at the beginning of each stream, and nothing now; nil is nothing then either.
-func (s *Service) Keep(r *discovery.DiscoveryResponse) {
+func (s *Server) SetInitialResponse(r *discovery.DiscoveryResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current = r
 }
 
 // Send sends a response to all instances.
-func (s *Service) Send(r *discovery.DiscoveryResponse) {
+func (s *Server) Broadcast(r *discovery.DiscoveryResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for x := range s.streams {
@@ -210,29 +210,29 @@
 	}
 }
 
-func (s *Service) sendLocked(x *stream, r *discovery.DiscoveryResponse) {
-	own := &discovery.DiscoveryResponse{VersionInfo: r.VersionInfo, Resources: r.Resources, TypeUrl: r.TypeUrl, Nonce: fmt.Sprint(s.nonce.Add(1))}
-	x.nonces[own.Nonce] = own.VersionInfo
+func (s *Server) sendLocked(x *stream, r *discovery.DiscoveryResponse) {
+	own := &discovery.DiscoveryResponse{VersionInfo: r.VersionInfo, Resources: r.Resources, TypeUrl: r.TypeUrl, Nonce: fmt.Sprint(s.lastNonce.Add(1))}
+	x.versionByNonce[own.Nonce] = own.VersionInfo
 	select {
-	case x.out <- own:
+	case x.responses <- own:
 	default: // it does not read
 	}
 }
 
 // StreamAggregatedResources serves one instance.
-func (s *Service) StreamAggregatedResources(g discovery.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
-	x := &stream{out: make(chan *discovery.DiscoveryResponse, 1<<12), end: make(chan error, 1), nonces: map[string]string{}}
+func (s *Server) StreamAggregatedResources(g discovery.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	x := &stream{responses: make(chan *discovery.DiscoveryResponse, 1<<12), closed: make(chan error, 1), versionByNonce: map[string]string{}}
 	first, err := g.Recv()
 	if err != nil {
 		return err
 	}
 	x.node = first.GetNode().GetId()
 	s.mu.Lock()
-	s.opened++
+	s.streamsOpened++
 	s.streams[x] = true
-	s.note(x, first)
+	s.recordRequest(x, first)
 	current := s.current
-	if own := s.wave[x.node]; own != nil {
+	if own := s.perNode[x.node]; own != nil {
 		current = own
 	}
 	if current != nil && current.VersionInfo != first.VersionInfo {
@@ -249,47 +249,47 @@
 			r, err := g.Recv()
 			if err != nil {
 				select {
-				case x.end <- err:
+				case x.closed <- err:
 				default:
 				}
 				return
 			}
 			s.mu.Lock()
-			s.note(x, r)
+			s.recordRequest(x, r)
 			s.mu.Unlock()
 		}
 	}()
 	for {
 		select {
-		case r := <-x.out:
+		case r := <-x.responses:
 			if err := g.Send(r); err != nil {
 				return err
 			}
-		case err := <-x.end:
+		case err := <-x.closed:
 			return err
 		}
 	}
 }
 
 // note writes a request down. The caller holds mu.
-func (s *Service) note(x *stream, r *discovery.DiscoveryRequest) {
-	w := Word{Node: x.node, Running: r.GetVersionInfo(), Nonce: r.GetResponseNonce(), Version: x.nonces[r.GetResponseNonce()],
-		Refused: r.GetErrorDetail().GetMessage(), At: time.Now()}
+func (s *Server) recordRequest(x *stream, r *discovery.DiscoveryRequest) {
+	w := Request{Node: x.node, VersionInfo: r.GetVersionInfo(), ResponseNonce: r.GetResponseNonce(), AnsweredVersion: x.versionByNonce[r.GetResponseNonce()],
+		ErrorDetail: r.GetErrorDetail().GetMessage(), ReceivedAt: time.Now()}
 	if fields := r.GetNode().GetMetadata().GetFields(); fields != nil {
 		w.State = fields["state"].GetStringValue()
 	}
-	s.words = append(s.words, w)
+	s.requests = append(s.requests, w)
 }
 
 // About returns what was said of a version by an instance, "" for any, in words: "trial", "good", "refused: REASON".
-func (s *Service) About(node, version string) (all []string) {
-	for _, w := range s.Words() {
-		if w.Version != version || node != "" && w.Node != node {
+func (s *Server) Answers(node, version string) (all []string) {
+	for _, w := range s.Requests() {
+		if w.AnsweredVersion != version || node != "" && w.Node != node {
 			continue
 		}
 		text := w.State
-		if w.Refused != "" {
-			text = "refused: " + w.Refused
+		if w.ErrorDetail != "" {
+			text = "refused: " + w.ErrorDetail
 		}
 		all = append(all, text)
 	}
@@ -297,8 +297,8 @@
 }
 
 // Told says whether an instance, "" for any, said something of a version that begins with a text.
-func (s *Service) Told(node, version, text string) bool {
-	for _, x := range s.About(node, version) {
+func (s *Server) HasAnswer(node, version, text string) bool {
+	for _, x := range s.Answers(node, version) {
 		if strings.HasPrefix(x, text) {
 			return true
 		}
@@ -307,33 +307,33 @@
 }
 
 // cutter is a listener whose connections may be cut off.
-type cutter struct {
+type resettingListener struct {
 	net.Listener
-	left atomic.Int64
+	remainingBytes atomic.Int64
 }
 
 // Accept takes a connection.
-func (c *cutter) Accept() (net.Conn, error) {
+func (c *resettingListener) Accept() (net.Conn, error) {
 	nc, err := c.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &cutConn{nc, c}, nil
+	return &resettingConn{nc, c}, nil
 }
 
-type cutConn struct {
+type resettingConn struct {
 	net.Conn
-	c *cutter
+	listener *resettingListener
 }
 
 // Write writes as much as may be.
-func (x *cutConn) Write(b []byte) (int, error) {
-	left := x.c.left.Load()
+func (x *resettingConn) Write(b []byte) (int, error) {
+	left := x.listener.remainingBytes.Load()
 	if left < 0 {
 		return x.Conn.Write(b)
 	}
 	n := min(int64(len(b)), left)
-	x.c.left.Add(-n)
+	x.listener.remainingBytes.Add(-n)
 	if n > 0 {
 		x.Conn.Write(b[:n])
 	}
--- a/internal/xdsclient/client.go
+++ b/internal/xdsclient/client.go
@@ -37,55 +37,55 @@
 
 // Options are what a Client needs.
 type Options struct {
-	Control config.Control
-	Name    string // of the instance, where Control.Node is empty
-	Zone    string
-	Running *rollout.ID // the version of the service's that runs, nil for none
-	Log     *slog.Logger
+	Settings     config.Control
+	InstanceName string // of the instance, where Control.Node is empty
+	Zone         string
+	Applied      *rollout.ID // the version of the service's that runs, nil for none
+	Log          *slog.Logger
 
 	// Offer is called for each version that comes, on the client's goroutine; it may wait, and nothing more is read
 	// meanwhile.
-	Offer func(Update)
+	OnUpdate func(Update)
 }
 
 // Client holds a stream to a control service, and asks for it again whenever it ends. Make one with New.
 type Client struct {
-	o     Options
-	creds credentials.TransportCredentials
-	node  *core.Node
+	options     Options
+	credentials credentials.TransportCredentials
+	node        *core.Node
 
-	mu      sync.Mutex
-	running string            // version_info of what was acknowledged last
-	nonces  map[string]string // of the present stream, by version_info
-	words   chan *discovery.DiscoveryRequest
-	served  bool // the present stream has brought something
+	mu               sync.Mutex
+	versionInfo      string            // version_info of what was acknowledged last
+	nonces           map[string]string // of the present stream, by version_info
+	requests         chan *discovery.DiscoveryRequest
+	responseReceived bool // the present stream has brought something
 }
 
 const (
-	retryLeast  = 500 * time.Millisecond
-	aliveAfter  = 20 * time.Second // a service that says nothing for so long is asked whether it is there,
-	aliveWithin = 5 * time.Second  // and has so long to say so
-	updateRate  = 5                // versions a second that are read,
-	updateBurst = 10               // so many at once; what is beyond waits with the service
-	wordsMost   = 64               // answers that wait to be sent
-	noncesMost  = 512              // versions of one stream that are not answered yet
+	minBackoff        = 500 * time.Millisecond
+	keepaliveTime     = 20 * time.Second // a service that says nothing for so long is asked whether it is there,
+	keepaliveTimeout  = 5 * time.Second  // and has so long to say so
+	responseRate      = 5                // versions a second that are read,
+	responseBurst     = 10               // so many at once; what is beyond waits with the service
+	maxQueuedRequests = 64               // answers that wait to be sent
+	maxNonces         = 512              // versions of one stream that are not answered yet
 )
 
 // New returns a client, or the error of certificates that cannot be read.
 func New(o Options) (*Client, error) {
-	c := &Client{o: o, nonces: map[string]string{}}
-	if c.o.Control.Node == "" {
-		c.o.Control.Node = o.Name
+	c := &Client{options: o, nonces: map[string]string{}}
+	if c.options.Settings.Node == "" {
+		c.options.Settings.Node = o.InstanceName
 	}
-	if o.Running != nil {
-		c.running = VersionInfo(*o.Running)
+	if o.Applied != nil {
+		c.versionInfo = FormatVersionInfo(*o.Applied)
 	}
 	var err error
-	if c.creds, err = transport(&o.Control); err != nil {
+	if c.credentials, err = transportCredentials(&o.Settings); err != nil {
 		return nil, err
 	}
-	c.node = &core.Node{Id: c.o.Control.Node, Cluster: o.Control.Cluster, UserAgentName: "dunlinsaild",
-		UserAgentVersionType: &core.Node_UserAgentVersion{UserAgentVersion: build()}}
+	c.node = &core.Node{Id: c.options.Settings.Node, Cluster: o.Settings.Cluster, UserAgentName: "dunlinsaild",
+		UserAgentVersionType: &core.Node_UserAgentVersion{UserAgentVersion: buildVersion()}}
 	if o.Zone != "" {
 		c.node.Locality = &core.Locality{Zone: o.Zone}
 	}
@@ -93,7 +93,7 @@
 }
 
 // build is the version of the program, as far as it knows it.
-func build() string {
+func buildVersion() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
 		return info.Main.Version
 	}
@@ -101,7 +101,7 @@
 }
 
 // transport returns how the connection is secured: both sides show a certificate, or neither does, on loopback.
-func transport(c *config.Control) (credentials.TransportCredentials, error) {
+func transportCredentials(c *config.Control) (credentials.TransportCredentials, error) {
 	if c.Plaintext {
 		return insecure.NewCredentials(), nil
 	}
@@ -126,52 +126,52 @@
 
 // Run asks for versions until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	n := &c.o.Control
-	conn, err := grpc.NewClient(n.Address, grpc.WithTransportCredentials(c.creds), grpc.WithNoProxy(),
+	n := &c.options.Settings
+	conn, err := grpc.NewClient(n.Address, grpc.WithTransportCredentials(c.credentials), grpc.WithNoProxy(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(int(n.SizeMost.Bytes)), grpc.WaitForReady(true)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: aliveAfter, Timeout: aliveWithin}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 5 * time.Second,
-			Backoff: backoff.Config{BaseDelay: retryLeast, Multiplier: 2, Jitter: 0.5, MaxDelay: n.RetryMost.Duration}}))
+			Backoff: backoff.Config{BaseDelay: minBackoff, Multiplier: 2, Jitter: 0.5, MaxDelay: n.RetryMost.Duration}}))
 	if err != nil {
-		c.o.Log.Error("no versions of the configuration will come", "error", err)
+		c.options.Log.Error("no versions of the configuration will come", "error", err)
 		return
 	}
 	defer conn.Close()
-	for wait := retryLeast; ctx.Err() == nil; {
+	for wait := minBackoff; ctx.Err() == nil; {
 		// Spread over all of the wait, so that instances that lost the service together do not come back together.
 		select {
 		case <-time.After(rand.N(min(wait, n.RetryMost.Duration))):
 		case <-ctx.Done():
 			return
 		}
-		err := c.stream(ctx, conn)
+		err := c.runStream(ctx, conn)
 		if ctx.Err() != nil {
 			return
 		}
-		if wait = min(2*wait, n.RetryMost.Duration); c.served {
-			wait = retryLeast
+		if wait = min(2*wait, n.RetryMost.Duration); c.responseReceived {
+			wait = minBackoff
 		}
-		c.o.Log.Warn("control service lost, asking again; what runs goes on", "service", n.Address, "within", wait, "error", err)
+		c.options.Log.Warn("control service lost, asking again; what runs goes on", "service", n.Address, "within", wait, "error", err)
 	}
 }
 
 // stream holds one stream until it ends.
-func (c *Client) stream(ctx context.Context, conn *grpc.ClientConn) error {
+func (c *Client) runStream(ctx context.Context, conn *grpc.ClientConn) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s, err := discovery.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(ctx)
 	if err != nil {
 		return err
 	}
-	words := make(chan *discovery.DiscoveryRequest, wordsMost)
+	words := make(chan *discovery.DiscoveryRequest, maxQueuedRequests)
 	c.mu.Lock()
 	clear(c.nonces)
-	c.words, c.served = words, false
-	first := &discovery.DiscoveryRequest{Node: c.node, TypeUrl: TypeURL, VersionInfo: c.running}
+	c.requests, c.responseReceived = words, false
+	first := &discovery.DiscoveryRequest{Node: c.node, TypeUrl: TypeURL, VersionInfo: c.versionInfo}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
-		c.words = nil
+		c.requests = nil
 		c.mu.Unlock()
 	}()
 	if err := s.Send(first); err != nil {
@@ -192,7 +192,7 @@
 			}
 		}
 	})
-	bound := rate.NewLimiter(updateRate, updateBurst)
+	bound := rate.NewLimiter(responseRate, responseBurst)
 	for {
 		r, err := s.Recv()
 		if errors.Is(err, io.EOF) {
@@ -201,8 +201,8 @@
 		if err != nil {
 			return err
 		}
-		c.served = true
-		c.take(r)
+		c.responseReceived = true
+		c.handleResponse(r)
 		if err := bound.Wait(ctx); err != nil {
 			return err
 		}
@@ -210,23 +210,23 @@
 }
 
 // take takes a response in.
-func (c *Client) take(r *discovery.DiscoveryResponse) {
+func (c *Client) handleResponse(r *discovery.DiscoveryResponse) {
 	u, err := decode(r)
 	if err != nil {
-		c.o.Log.Error("what the control service sent is refused", "error", err)
-		c.say(&discovery.DiscoveryRequest{ResponseNonce: r.GetNonce(), ErrorDetail: detail(err.Error())})
+		c.options.Log.Error("what the control service sent is refused", "error", err)
+		c.send(&discovery.DiscoveryRequest{ResponseNonce: r.GetNonce(), ErrorDetail: errorDetail(err.Error())})
 		return
 	}
 	c.mu.Lock()
-	if len(c.nonces) >= noncesMost {
+	if len(c.nonces) >= maxNonces {
 		clear(c.nonces) // answers that are still owed to old ones are not sent; the service has newer ones
 	}
 	c.nonces[r.GetVersionInfo()] = r.GetNonce()
 	c.mu.Unlock()
-	c.o.Offer(*u)
+	c.options.OnUpdate(*u)
 }
 
-func detail(reason string) *status.Status {
+func errorDetail(reason string) *status.Status {
 	return &status.Status{Code: int32(codes.InvalidArgument), Message: reason}
 }
 
@@ -237,48 +237,48 @@
 		state = "good"
 	}
 	c.mu.Lock()
-	info := VersionInfo(id)
-	c.running = info
+	info := FormatVersionInfo(id)
+	c.versionInfo = info
 	nonce := c.nonces[info]
 	c.mu.Unlock()
 	if nonce != "" {
-		c.say(&discovery.DiscoveryRequest{ResponseNonce: nonce, Node: c.told(info, state)})
+		c.send(&discovery.DiscoveryRequest{ResponseNonce: nonce, Node: c.nodeWithState(info, state)})
 	}
 }
 
 // Nack tells the service that a version is refused, or gone back from, and which one runs, nil for none of its own.
 func (c *Client) Nack(id rollout.ID, reason string, running *rollout.ID) {
 	c.mu.Lock()
-	c.running = ""
+	c.versionInfo = ""
 	if running != nil {
-		c.running = VersionInfo(*running)
+		c.versionInfo = FormatVersionInfo(*running)
 	}
-	info := VersionInfo(id)
+	info := FormatVersionInfo(id)
 	nonce := c.nonces[info]
 	c.mu.Unlock()
 	if nonce != "" { // of this stream; the next begins with what runs
-		c.say(&discovery.DiscoveryRequest{ResponseNonce: nonce, ErrorDetail: detail(reason), Node: c.told(info, "refused")})
+		c.send(&discovery.DiscoveryRequest{ResponseNonce: nonce, ErrorDetail: errorDetail(reason), Node: c.nodeWithState(info, "refused")})
 	}
 }
 
 // told is the node with how it stands with a version: xDS has no word for a version on trial.
-func (c *Client) told(info, state string) *core.Node {
+func (c *Client) nodeWithState(info, state string) *core.Node {
 	return &core.Node{Id: c.node.Id, Cluster: c.node.Cluster, Metadata: &structpb.Struct{Fields: map[string]*structpb.Value{
 		"version": structpb.NewStringValue(info), "state": structpb.NewStringValue(state)}}}
 }
 
 // say sends a request on the present stream. Without one, or where too many wait, it is dropped: the next stream begins with
 // what runs, and the service sends again what it wants.
-func (c *Client) say(w *discovery.DiscoveryRequest) {
+func (c *Client) send(w *discovery.DiscoveryRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w.TypeUrl, w.VersionInfo = TypeURL, c.running
-	if c.words == nil {
+	w.TypeUrl, w.VersionInfo = TypeURL, c.versionInfo
+	if c.requests == nil {
 		return
 	}
 	select {
-	case c.words <- w:
+	case c.requests <- w:
 	default:
-		c.o.Log.Warn("an answer to the control service is dropped: it does not read them")
+		c.options.Log.Warn("an answer to the control service is dropped: it does not read them")
 	}
 }
--- a/internal/xdsclient/control_test.go
+++ b/internal/xdsclient/control_test.go
@@ -55,7 +55,7 @@
 func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
 	t.Helper()
 	f := &following{}
-	client, err := xdsclient.New(xdsclient.Options{Control: c, Name: "i-1", Zone: "a", Running: running, Log: scriptedpeer.Quiet, Offer: func(u xdsclient.Update) {
+	client, err := xdsclient.New(xdsclient.Options{Settings: c, InstanceName: "i-1", Zone: "a", Applied: running, Log: scriptedpeer.Quiet, OnUpdate: func(u xdsclient.Update) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.got = append(f.got, u)
@@ -77,7 +77,7 @@
 	return f
 }
 
-func begin(t *testing.T, o xdsserver.Options) *xdsserver.Service {
+func begin(t *testing.T, o xdsserver.Options) *xdsserver.Server {
 	t.Helper()
 	s, err := xdsserver.Start(o)
 	if err != nil {
@@ -94,26 +94,26 @@
 // A version arrives as it was sent, and what is said of it reaches the service with its nonce.
 func TestSentAndAnswered(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
-	if err := s.Set("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
+	if err := s.SetResources("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
 		t.Fatal(err)
 	}
-	f := follow(t, settings(s.Addr), &rollout.ID{Epoch: "e", Number: 6})
+	f := follow(t, settings(s.Address), &rollout.ID{Epoch: "e", Number: 6})
 	scriptedpeer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
 	u := f.updates()[0]
-	if u.Wrong != "" || u.Version.ID != (rollout.ID{Source: rollout.SourceControlPlane, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
+	if u.DecodeError != "" || u.Version.ID != (rollout.ID{Source: rollout.SourceControlPlane, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
 		u.Resources[0].Name != "look" || u.Resources[0].Fields["worth"] != 2.0 || u.Resources[0].Fields["name"] != nil || u.Version.Digest != config.Digest(u.Resources) {
 		t.Errorf("%+v", u)
 	}
 	f.Ack(u.Version.ID, false)
 	f.Ack(u.Version.ID, true)
 	f.Nack(u.Version.ID, "it did harm", &rollout.ID{Epoch: "e", Number: 6})
-	scriptedpeer.Eventually(t, "the answers", func() bool { return len(s.Words()) == 4 })
-	w := s.Words()
-	if w[0].Running != "e/6" || w[0].Node != "i-1" || w[0].Nonce != "" {
+	scriptedpeer.Eventually(t, "the answers", func() bool { return len(s.Requests()) == 4 })
+	w := s.Requests()
+	if w[0].VersionInfo != "e/6" || w[0].Node != "i-1" || w[0].ResponseNonce != "" {
 		t.Errorf("first %+v", w[0])
 	}
-	for i, want := range []xdsserver.Word{{State: "trial", Running: "e/7"}, {State: "good", Running: "e/7"}, {State: "refused", Running: "e/6", Refused: "it did harm"}} {
-		if g := w[i+1]; g.Version != "e/7" || g.State != want.State || g.Running != want.Running || g.Refused != want.Refused {
+	for i, want := range []xdsserver.Request{{State: "trial", VersionInfo: "e/7"}, {State: "good", VersionInfo: "e/7"}, {State: "refused", VersionInfo: "e/6", ErrorDetail: "it did harm"}} {
+		if g := w[i+1]; g.AnsweredVersion != "e/7" || g.State != want.State || g.VersionInfo != want.VersionInfo || g.ErrorDetail != want.ErrorDetail {
 			t.Errorf("answer %d: %+v, want %+v", i, g, want)
 		}
 	}
@@ -122,9 +122,9 @@
 // What makes no sense is refused with its reason, and the next version comes all the same.
 func TestWhatMakesNoSense(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Addr), nil)
-	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
-	sound, err := xdsserver.Response("1", []config.Resource{class("look", 1)}, nil)
+	f := follow(t, settings(s.Address), nil)
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
+	sound, err := xdsserver.NewResponse("1", []config.Resource{class("look", 1)}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,21 +144,21 @@
 		`"18446744073709551616" is nei`: made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "18446744073709551616" }),
 	}
 	for want, r := range unread {
-		s.Send(r)
+		s.Broadcast(r)
 		scriptedpeer.Eventually(t, want, func() bool {
-			for _, w := range s.Words() {
-				if strings.Contains(w.Refused, want) {
+			for _, w := range s.Requests() {
+				if strings.Contains(w.ErrorDetail, want) {
 					return true
 				}
 			}
 			return false
 		})
 	}
-	release, err := xdsserver.Response("9", []config.Resource{class("a", 1)}, map[string]any{"rollback": "yes"})
+	release, err := xdsserver.NewResponse("9", []config.Resource{class("a", 1)}, map[string]any{"rollback": "yes"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	unknown, err := xdsserver.Response("10", []config.Resource{{Kind: "clas", Name: "x", Fields: map[string]any{}}}, nil)
+	unknown, err := xdsserver.NewResponse("10", []config.Resource{{Kind: "clas", Name: "x", Fields: map[string]any{}}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,17 +170,17 @@
 	}
 	n := 0
 	for want, r := range wrong {
-		s.Send(r)
+		s.Broadcast(r)
 		n++
 		scriptedpeer.Eventually(t, want, func() bool { return len(f.updates()) == n })
-		if u := f.updates()[n-1]; !strings.Contains(u.Wrong, want) || u.Resources != nil || u.Version.Digest == "" {
+		if u := f.updates()[n-1]; !strings.Contains(u.DecodeError, want) || u.Resources != nil || u.Version.Digest == "" {
 			t.Errorf("%s: %+v", want, u)
 		}
 	}
-	s.Send(sound)
-	scriptedpeer.Eventually(t, "a sound one", func() bool { u := f.updates(); return len(u) == n+1 && u[n].Wrong == "" })
-	if s.Opened() != 1 {
-		t.Errorf("%d streams", s.Opened())
+	s.Broadcast(sound)
+	scriptedpeer.Eventually(t, "a sound one", func() bool { u := f.updates(); return len(u) == n+1 && u[n].DecodeError == "" })
+	if s.StreamsOpened() != 1 {
+		t.Errorf("%d streams", s.StreamsOpened())
 	}
 }
 
@@ -191,15 +191,15 @@
 	for i := range 20_000 {
 		many = append(many, class(fmt.Sprint("c", i), 1))
 	}
-	if err := s.Set("1", many, nil); err != nil {
+	if err := s.SetResources("1", many, nil); err != nil {
 		t.Fatal(err)
 	}
-	f := follow(t, settings(s.Addr), nil)
-	scriptedpeer.Eventually(t, "asked again", func() bool { return s.Opened() >= 3 })
+	f := follow(t, settings(s.Address), nil)
+	scriptedpeer.Eventually(t, "asked again", func() bool { return s.StreamsOpened() >= 3 })
 	if len(f.updates()) > 0 {
 		t.Error("it was taken")
 	}
-	if err := s.Set("2", many[:5], nil); err != nil {
+	if err := s.SetResources("2", many[:5], nil); err != nil {
 		t.Fatal(err)
 	}
 	scriptedpeer.Eventually(t, "the next", func() bool { return len(f.updates()) > 0 })
@@ -209,40 +209,43 @@
 // runs by then.
 func TestVanishes(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Addr), nil)
-	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
+	f := follow(t, settings(s.Address), nil)
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
 	all := []config.Resource{class("look", 1), class("book", 2)}
 	for n, cut := range []int64{0, 1, 9, 10, 40, 100, 200, 300} {
-		s.CutAfter(cut)
+		s.ResetConnectionsAfter(cut)
 		info := fmt.Sprint(n + 1)
-		if err := s.Set(info, all, nil); err != nil {
+		if err := s.SetResources(info, all, nil); err != nil {
 			t.Fatal(err)
 		}
-		scriptedpeer.Eventually(t, "the cut", func() bool { return s.Streams() == 0 || f.has(n+1) })
-		s.CutAfter(-1)
+		scriptedpeer.Eventually(t, "the cut", func() bool { return s.OpenStreams() == 0 || f.has(n+1) })
+		s.ResetConnectionsAfter(-1)
 		scriptedpeer.Eventually(t, "version "+info, func() bool { return f.has(n + 1) })
 		f.Ack(rollout.ID{Number: uint64(n + 1)}, true)
 	}
 	for _, u := range f.updates() {
-		if u.Wrong != "" || len(u.Resources) != 2 {
+		if u.DecodeError != "" || len(u.Resources) != 2 {
 			t.Errorf("%+v", u)
 		}
 	}
 	// In the midst of an answer: what runs is said at the beginning of the next stream.
-	s.Drop()
+	s.DropStreams()
 	f.Ack(rollout.ID{Number: 8}, true)
-	scriptedpeer.Eventually(t, "what runs", func() bool { w := s.Words(); return w[len(w)-1].Running == "8" && w[len(w)-1].Nonce == "" })
+	scriptedpeer.Eventually(t, "what runs", func() bool {
+		w := s.Requests()
+		return w[len(w)-1].VersionInfo == "8" && w[len(w)-1].ResponseNonce == ""
+	})
 	// For long.
-	addr := s.Addr
+	addr := s.Address
 	s.Close()
 	f.Nack(rollout.ID{Number: 8}, "late", nil)
-	again := begin(t, xdsserver.Options{Addr: addr})
-	if err := again.Set("9", all, nil); err != nil {
+	again := begin(t, xdsserver.Options{Address: addr})
+	if err := again.SetResources("9", all, nil); err != nil {
 		t.Fatal(err)
 	}
 	scriptedpeer.Eventually(t, "the service's return", func() bool { return f.has(9) })
-	if w := again.Words()[0]; w.Running != "" {
-		t.Errorf("after the nack it says to run %q", w.Running)
+	if w := again.Requests()[0]; w.VersionInfo != "" {
+		t.Errorf("after the nack it says to run %q", w.VersionInfo)
 	}
 }
 
@@ -264,14 +267,14 @@
 // A service that never stops sending is read at a bounded pace, and costs no more memory than what is under way.
 func TestNeverStops(t *testing.T) {
 	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Addr), nil)
-	scriptedpeer.Eventually(t, "a stream", func() bool { return s.Opened() == 1 })
+	f := follow(t, settings(s.Address), nil)
+	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
 	for n := range 1000 {
-		r, err := xdsserver.Response(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
+		r, err := xdsserver.NewResponse(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.Send(r)
+		s.Broadcast(r)
 	}
 	scriptedpeer.Eventually(t, "some", func() bool { return len(f.updates()) >= 10 })
 	if n := len(f.updates()); n > 30 {
@@ -352,11 +355,11 @@
 func TestMutualTLS(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
 	s := begin(t, xdsserver.Options{Credentials: ours.server(t)})
-	if err := s.Set("1", []config.Resource{class("look", 1)}, nil); err != nil {
+	if err := s.SetResources("1", []config.Resource{class("look", 1)}, nil); err != nil {
 		t.Fatal(err)
 	}
 	with := func(ca, own *authority, name string) config.Control {
-		c := settings(s.Addr)
+		c := settings(s.Address)
 		c.Plaintext, c.ServerName = false, name
 		c.CA = filepath.Join(ca.dir, "ca.pem")
 		c.Cert, c.Key = own.issue(t, "instance")
@@ -367,7 +370,7 @@
 		"an authority that is not the service's": with(theirs, ours, ""),
 		"a certificate of another authority":     with(ours, theirs, ""),
 		"another name":                           with(ours, ours, "somebody"),
-		"no TLS":                                 settings(s.Addr),
+		"no TLS":                                 settings(s.Address),
 	} {
 		f := follow(t, c, nil)
 		defer func() {
@@ -379,12 +382,12 @@
 	scriptedpeer.Eventually(t, "the version", func() bool { return good.has(1) })
 	bad := with(ours, ours, "")
 	bad.CA = bad.Key
-	if _, err := xdsclient.New(xdsclient.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
+	if _, err := xdsclient.New(xdsclient.Options{Settings: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
 		t.Errorf("a CA that is none: %v", err)
 	}
 	bad = with(ours, ours, "")
 	bad.Key = "/nowhere"
-	if _, err := xdsclient.New(xdsclient.Options{Control: bad}); err == nil || !strings.Contains(err.Error(), "control.cert") {
+	if _, err := xdsclient.New(xdsclient.Options{Settings: bad}); err == nil || !strings.Contains(err.Error(), "control.cert") {
 		t.Errorf("a key that is not there: %v", err)
 	}
 }
--- a/internal/xdsclient/decode.go
+++ b/internal/xdsclient/decode.go
@@ -26,10 +26,10 @@
 const releaseKind = "release"
 
 // epochMost is how long an epoch's name may be.
-const epochMost = 64
+const maxEpochLength = 64
 
 // ParseVersion reads a version_info: "17", or "epoch/17" where numbers may begin anew.
-func ParseVersion(text string) (rollout.ID, error) {
+func ParseVersionInfo(text string) (rollout.ID, error) {
 	epoch, number := "", text
 	if i := strings.LastIndexByte(text, '/'); i >= 0 {
 		if epoch, number = text[:i], text[i+1:]; epoch == "" {
@@ -38,23 +38,23 @@
 	}
 	n, err := strconv.ParseUint(number, 10, 64)
 	if err != nil || strconv.FormatUint(n, 10) != number {
-		return rollout.ID{}, fmt.Errorf("version_info %q is neither NUMBER nor EPOCH/NUMBER", clip(text))
+		return rollout.ID{}, fmt.Errorf("version_info %q is neither NUMBER nor EPOCH/NUMBER", truncate(text))
 	}
-	if len(epoch) > epochMost || strings.ContainsFunc(epoch, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return rollout.ID{}, fmt.Errorf("version_info %q: an epoch is at most %d visible ASCII characters", clip(text), epochMost)
+	if len(epoch) > maxEpochLength || strings.ContainsFunc(epoch, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return rollout.ID{}, fmt.Errorf("version_info %q: an epoch is at most %d visible ASCII characters", truncate(text), maxEpochLength)
 	}
 	return rollout.ID{Source: rollout.SourceControlPlane, Epoch: epoch, Number: n}, nil
 }
 
 // VersionInfo is what ParseVersion reads.
-func VersionInfo(id rollout.ID) string {
+func FormatVersionInfo(id rollout.ID) string {
 	if id.Epoch == "" {
 		return strconv.FormatUint(id.Number, 10)
 	}
 	return id.Epoch + "/" + strconv.FormatUint(id.Number, 10)
 }
 
-func clip(text string) string {
+func truncate(text string) string {
 	if len(text) > 80 {
 		return text[:80] + "..."
 	}
@@ -63,23 +63,23 @@
 
 // Update is a version as the service sent it.
 type Update struct {
-	Version   rollout.Version
-	Resources []config.Resource
-	Wrong     string // why it cannot be read; Resources is nil then
+	Version     rollout.Version
+	Resources   []config.Resource
+	DecodeError string // why it cannot be read; Resources is nil then
 }
 
 // decode reads a response, or returns the error of one whose version is not known.
 func decode(r *discovery.DiscoveryResponse) (*Update, error) {
 	if r.GetTypeUrl() != TypeURL {
-		return nil, fmt.Errorf("type_url %q was not asked for", clip(r.GetTypeUrl()))
+		return nil, fmt.Errorf("type_url %q was not asked for", truncate(r.GetTypeUrl()))
 	}
-	id, err := ParseVersion(r.GetVersionInfo())
+	id, err := ParseVersionInfo(r.GetVersionInfo())
 	if err != nil {
 		return nil, err
 	}
 	u := &Update{Version: rollout.Version{ID: id}}
-	if err := u.read(r); err != nil {
-		u.Wrong, u.Resources = err.Error(), nil
+	if err := u.decodeResources(r); err != nil {
+		u.DecodeError, u.Resources = err.Error(), nil
 		// What makes no sense has a digest, too: the same number may come with another content.
 		h := sha256.New()
 		for _, x := range r.GetResources() {
@@ -92,25 +92,25 @@
 	return u, nil
 }
 
-func (u *Update) read(r *discovery.DiscoveryResponse) error {
+func (u *Update) decodeResources(r *discovery.DiscoveryResponse) error {
 	for i, x := range r.GetResources() {
 		var s v3.TypedStruct
 		if x.GetTypeUrl() != TypeURL {
-			return fmt.Errorf("resource %d: type_url %q is not %s", i, clip(x.GetTypeUrl()), TypeURL)
+			return fmt.Errorf("resource %d: type_url %q is not %s", i, truncate(x.GetTypeUrl()), TypeURL)
 		}
 		if err := proto.Unmarshal(x.GetValue(), &s); err != nil {
 			return fmt.Errorf("resource %d: %w", i, err)
 		}
 		kind, ok := strings.CutPrefix(s.GetTypeUrl(), KindPrefix)
 		if !ok {
-			return fmt.Errorf("resource %d: type_url %q does not begin with %s", i, clip(s.GetTypeUrl()), KindPrefix)
+			return fmt.Errorf("resource %d: type_url %q does not begin with %s", i, truncate(s.GetTypeUrl()), KindPrefix)
 		}
 		fields := s.GetValue().AsMap()
 		if fields == nil {
 			fields = map[string]any{}
 		}
 		if kind == releaseKind {
-			if err := u.release(fields); err != nil {
+			if err := u.decodeRelease(fields); err != nil {
 				return err
 			}
 			continue
@@ -118,7 +118,7 @@
 		res := config.Resource{Kind: kind, Fields: fields}
 		if name, has := fields["name"]; has {
 			if res.Name, ok = name.(string); !ok {
-				return fmt.Errorf("resource %d: %s: its name is no text", i, clip(kind))
+				return fmt.Errorf("resource %d: %s: its name is no text", i, truncate(kind))
 			}
 			delete(fields, "name")
 		}
@@ -131,7 +131,7 @@
 }
 
 // release reads what is said of the version itself.
-func (u *Update) release(fields map[string]any) error {
+func (u *Update) decodeRelease(fields map[string]any) error {
 	for key, v := range fields {
 		switch key {
 		case "rollback":
@@ -142,7 +142,7 @@
 			u.Version.Rollback = on
 		case "about": // for people
 		default:
-			return fmt.Errorf("release: %s: is not a known key", clip(key))
+			return fmt.Errorf("release: %s: is not a known key", truncate(key))
 		}
 	}
 	return nil
--- a/internal/xdsclient/decode_test.go
+++ b/internal/xdsclient/decode_test.go
@@ -46,13 +46,13 @@
 		if err != nil {
 			return
 		}
-		if got := VersionInfo(u.Version.ID); got != r.GetVersionInfo() {
+		if got := FormatVersionInfo(u.Version.ID); got != r.GetVersionInfo() {
 			t.Errorf("version %q was read as %q", r.GetVersionInfo(), got)
 		}
-		if u.Version.Digest == "" || (u.Wrong == "") != (u.Resources != nil) {
+		if u.Version.Digest == "" || (u.DecodeError == "") != (u.Resources != nil) {
 			t.Errorf("%+v", u)
 		}
-		if u.Wrong != "" {
+		if u.DecodeError != "" {
 			return
 		}
 		if config.Digest(u.Resources) != u.Version.Digest {
--- a/internal/xdsclient/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -109,8 +109,8 @@
 	server.responses <- response
 	scriptedpeer.Eventually(t, "the update", func() bool { return len(client.updates()) == 1 })
 	update := client.updates()[0]
-	if update.Wrong != "" {
-		t.Fatal(update.Wrong)
+	if update.DecodeError != "" {
+		t.Fatal(update.DecodeError)
 	}
 	checkJSON(t, "response-version.json", update.Version)
 	checkJSON(t, "response-resources.json", update.Resources)
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -48,7 +48,7 @@
 	f := follow(t, settings(ln.Addr().String()), nil)
 	scriptedpeer.Eventually(t, "a version", func() bool { return len(f.updates()) == 1 })
 	one := f.updates()[0]
-	if one.Wrong != "" || one.Version.Epoch != "plane" || one.Resources[0].ID() != "class/look" {
+	if one.DecodeError != "" || one.Version.Epoch != "plane" || one.Resources[0].ID() != "class/look" {
 		t.Fatalf("%+v", one)
 	}
 	f.Ack(one.Version.ID, true)
@@ -59,7 +59,7 @@
 		t.Errorf("%+v", two)
 	}
 	f.Nack(two.Version.ID, "not today", &one.Version.ID)
-	if got := scriptedpeer.Within(t, refused, "the refusal"); got != xdsclient.VersionInfo(one.Version.ID)+": not today" {
+	if got := scriptedpeer.Within(t, refused, "the refusal"); got != xdsclient.FormatVersionInfo(one.Version.ID)+": not today" {
 		t.Errorf("it heard %q", got)
 	}
 	set(3)
