Name quota allocation by the terms of the field: allocator, lessee, lease request, grant

Book, Holder, pot, Ask, Want, Least and the like become Allocator, Lessee, bucket, LeaseRequest, Demand, Minimum, in package quota and where others use it.

--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -93,12 +93,12 @@
 				s := gossipsim.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
 					Fleet: gossipsim.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
 				if c.Every > 0 {
-					s.Fleet.Loans.Every = c.Every.Microseconds()
-					s.Fleet.Loans.Length = max(s.Fleet.Loans.Length, 8*s.Fleet.Loans.Every)
-					s.Fleet.Lease = max(s.Fleet.Lease, 4*s.Fleet.Loans.Every)
+					s.Fleet.Loans.RequestInterval = c.Every.Microseconds()
+					s.Fleet.Loans.LeaseDuration = max(s.Fleet.Loans.LeaseDuration, 8*s.Fleet.Loans.RequestInterval)
+					s.Fleet.Lease = max(s.Fleet.Lease, 4*s.Fleet.Loans.RequestInterval)
 				}
 				if c.Plant == "spends as it starts" {
-					s.Fleet.Loans.Ready = 1 // nothing lies idle where one is killed
+					s.Fleet.Loans.Reserve = 1 // nothing lies idle where one is killed
 				}
 				if name == "random" {
 					s.Faults = gossipsim.Random(seed, c.Members, s.Length)
--- a/cmd/dunlinsaild/members.go
+++ b/cmd/dunlinsaild/members.go
@@ -75,7 +75,7 @@
 		fmt.Fprintln(w, "\nIt has lent:")
 		fmt.Fprintln(w, "TO\tBUDGET\tUNITS\tIS TO HAVE\tASKED FOR")
 		for _, l := range f.Loans {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\n", l.Holder, l.Budget, l.Units, l.Target, l.Asked)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\n", l.Lessee, l.Budget, l.Units, l.Target, l.Requested)
 		}
 	}
 	return w.Flush()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -346,7 +346,7 @@
 		return nil
 	}
 	t := &engine.Coordination{Fleet: coordination.Settings{Self: c.Name, Lenders: p.Lenders, Lease: p.Lease.Micros(), Seed: seed, Loans: quota.Settings{
-		Most: c.Fleet.Instances, Ready: p.Ready, Length: p.Loan.Micros(), Every: p.Every.Micros(), Drift: p.Drift}}}
+		MaxInstances: c.Fleet.Instances, Reserve: p.Ready, LeaseDuration: p.Loan.Micros(), RequestInterval: p.Every.Micros(), MaxClockDrift: p.Drift}}}
 	for _, name := range p.Lends {
 		uses[name](&t.Scope)
 	}
--- a/internal/decide/coordination/fleet.go
+++ b/internal/decide/coordination/fleet.go
@@ -28,11 +28,11 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Lease *lease.Message     `cbor:"Lease"`
-	Ask   *quota.Ask         `cbor:"Ask"`
-	Seen  *observations.Seen `cbor:"Seen"` // with Ask
-	Grant *quota.Grant       `cbor:"Grant"`
-	All   *observations.All  `cbor:"All"` // with Grant
+	Lease *lease.Message      `cbor:"Lease"`
+	Ask   *quota.LeaseRequest `cbor:"Ask"`
+	Seen  *observations.Seen  `cbor:"Seen"` // with Ask
+	Grant *quota.Grant        `cbor:"Grant"`
+	All   *observations.All   `cbor:"All"` // with Grant
 }
 
 // Out is a word that is to be told.
@@ -45,9 +45,9 @@
 type Member struct {
 	s      Settings
 	rng    *rand.Rand
-	holder *quota.Holder
+	holder *quota.Lessee
 	voter  *lease.Voter // nil for who is no lender
-	book   *quota.Book
+	book   *quota.Allocator
 	sum    *observations.Sum
 	joint  map[string]*overload.SharedLevel // levels, by set of endpoints, while it keeps the book
 	all    observations.All                 // that it comes to,
@@ -66,10 +66,10 @@
 func New(s Settings) (*Member, error) {
 	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: observations.NewSum(), joint: map[string]*overload.SharedLevel{}}
 	var err error
-	if m.holder, err = quota.NewHolder(s.Loans); err != nil {
+	if m.holder, err = quota.NewLessee(s.Loans); err != nil {
 		return nil, err
 	}
-	if m.book, err = quota.NewBook(s.Loans); err != nil {
+	if m.book, err = quota.NewAllocator(s.Loans); err != nil {
 		return nil, err
 	}
 	_, err = lease.New(0, m.lease(1))
@@ -82,7 +82,7 @@
 func (m *Member) lends() bool { return slices.Contains(m.s.Lenders, m.s.Self) }
 
 func (m *Member) lease(life uint64) lease.Settings {
-	return lease.Settings{Self: m.s.Self, Incarnation: life, Voters: m.s.Lenders, Duration: m.s.Lease, MaxClockDrift: m.s.Loans.Drift, Seed: m.s.Seed}
+	return lease.Settings{Self: m.s.Self, Incarnation: life, Voters: m.s.Lenders, Duration: m.s.Lease, MaxClockDrift: m.s.Loans.MaxClockDrift, Seed: m.s.Seed}
 }
 
 // Sees says what tells what the instance has seen itself.
@@ -91,7 +91,7 @@
 // Begin begins the instance's life, as a process that no other is beside. life is a number that no other process of its name
 // has had.
 func (m *Member) Begin(now monotime.Micros, life uint64) {
-	m.holder.Begin(now, life)
+	m.holder.Start(now, life)
 	m.begin(now, life)
 }
 
@@ -103,18 +103,18 @@
 
 func (m *Member) begin(now monotime.Micros, life uint64) {
 	m.out, m.since = nil, now
-	m.askAt = now + m.rng.Int64N(m.s.Loans.Every) // all may start at once
+	m.askAt = now + m.rng.Int64N(m.s.Loans.RequestInterval) // all may start at once
 	if m.lends() {
 		m.voter, _ = lease.New(now, m.lease(life)) // its settings were taken before
 	}
 }
 
 // Begun says whether it has begun.
-func (m *Member) Begun() bool { return m.holder.Begun() }
+func (m *Member) Begun() bool { return m.holder.Active() }
 
 // Give ends this process's part, for another that takes its place, and returns what that has to know.
 func (m *Member) Give(now monotime.Micros) *quota.State {
-	s := m.holder.Give(now)
+	s := m.holder.HandOver(now)
 	m.Leave(now)
 	return s
 }
@@ -126,7 +126,7 @@
 		m.flush()
 		m.voter = nil
 	}
-	m.book.End()
+	m.book.Stop()
 }
 
 // ---- Budgets ---------------------------------------------------------------
@@ -136,30 +136,30 @@
 	if earned {
 		units = 0
 	}
-	m.holder.Budget(name, units)
-	m.book.Budget(name, units, earned)
+	m.holder.SetBudget(name, units)
+	m.book.SetBudget(name, units, earned)
 }
 
 // Forget forgets a budget.
 func (m *Member) Forget(name string) {
-	m.holder.Forget(name)
-	m.book.Forget(name)
+	m.holder.RemoveBudget(name)
+	m.book.RemoveBudget(name)
 }
 
 // Earn says what units a second this instance adds to a budget, and what all can add by what endpoints report.
 func (m *Member) Earn(name string, units, ceiling float64) {
-	m.holder.Earn(name, units)
-	m.book.Ceiling(name, ceiling)
+	m.holder.SetContribution(name, units)
+	m.book.SetCeiling(name, ceiling)
 }
 
 // Want notes that a unit is asked for, whether or not there is one.
-func (m *Member) Want(now monotime.Micros, name string) { m.holder.Want(now, name) }
+func (m *Member) Want(now monotime.Micros, name string) { m.holder.RecordDemand(now, name) }
 
 // Take spends a unit, and says whether there was one.
-func (m *Member) Take(now monotime.Micros, name string) bool { return m.holder.Take(now, name) }
+func (m *Member) Take(now monotime.Micros, name string) bool { return m.holder.Spend(now, name) }
 
 // Left returns how many units may be spent at once.
-func (m *Member) Left(now monotime.Micros, name string) int { return m.holder.Left(now, name) }
+func (m *Member) Left(now monotime.Micros, name string) int { return m.holder.Available(now, name) }
 
 // Allowed returns how many units may be spent within the second that ends now.
 func (m *Member) Allowed(now monotime.Micros, name string) int { return m.holder.Allowed(now, name) }
@@ -207,11 +207,11 @@
 // keep keeps the book while the lease is held.
 func (m *Member) keep(now monotime.Micros) {
 	held, _, yes := m.voter.HeldTerm(now)
-	if term, open := m.book.Open(); open && (!yes || held != term) {
-		m.book.End()
+	if term, open := m.book.ActiveTerm(); open && (!yes || held != term) {
+		m.book.Stop()
 	}
-	if _, open := m.book.Open(); yes && !open {
-		m.book.Begin(now, held)
+	if _, open := m.book.ActiveTerm(); yes && !open {
+		m.book.Start(now, held)
 		m.sum, m.all, m.allAt = observations.NewSum(), observations.All{}, now
 		clear(m.joint)
 	}
@@ -222,16 +222,16 @@
 
 // ask asks for a loan, and tells what was seen.
 func (m *Member) ask(now monotime.Micros) {
-	every := m.s.Loans.Every
+	every := m.s.Loans.RequestInterval
 	m.askAt = now + every - every/16 + m.rng.Int64N(every/8) // not in step
 	if len(m.s.Lenders) == 0 {
 		return
 	}
 	if now-m.since > unanswered*every {
-		m.holder.Lost()
+		m.holder.ForgetAllocator()
 		m.since = now
 	}
-	a := m.holder.Ask(now)
+	a := m.holder.NewRequest(now)
 	w := Word{Ask: &a}
 	if m.seen != nil {
 		seen := m.seen(now)
@@ -264,7 +264,7 @@
 		m.keep(now)
 	case w.Ask != nil && m.voter != nil:
 		m.keep(now)
-		g, ok := m.book.Hear(now, from, *w.Ask)
+		g, ok := m.book.HandleRequest(now, from, *w.Ask)
 		if !ok {
 			return
 		}
@@ -278,10 +278,10 @@
 		}
 		m.tell(now, from, answer)
 	case w.Grant != nil:
-		if m.holder.Hear(now, *w.Grant) {
+		if m.holder.HandleGrant(now, *w.Grant) {
 			m.askAt = now
 		}
-		if _, at := m.holder.Book(); at == now {
+		if _, at := m.holder.KnownAllocator(); at == now {
 			m.since = now
 			if w.All != nil {
 				m.told, m.toldAt, m.news = *w.All, now, true
@@ -292,7 +292,7 @@
 
 // everything is what all have seen, added up once in a while.
 func (m *Member) everything(now monotime.Micros) observations.All {
-	if now-m.allAt >= m.s.Loans.Every/4 {
+	if now-m.allAt >= m.s.Loans.RequestInterval/4 {
 		m.all, m.allAt = m.sum.All(now), now
 		m.all.Levels = slices.Clone(m.all.Levels)
 		for i := range m.all.Levels {
@@ -314,7 +314,7 @@
 // Told returns what all have seen, once each time that it is news; ok is false where nothing new was heard. Where nothing has
 // been heard for long it returns nothing as news, once.
 func (m *Member) Told(now monotime.Micros) (all observations.All, ok bool) {
-	if !m.news && m.told.Members > 0 && now-m.toldAt > old*m.s.Loans.Every {
+	if !m.news && m.told.Members > 0 && now-m.toldAt > old*m.s.Loans.RequestInterval {
 		m.told, m.news = observations.All{}, true
 	}
 	ok, m.news = m.news, false
@@ -325,14 +325,14 @@
 
 // View is what an instance knows of its fleet.
 type View struct {
-	Begun    bool            `json:"Begun"`
-	Book     string          `json:"Book"`     // who keeps it, as far as is known
-	HeardAgo monotime.Micros `json:"HeardAgo"` // from the book
-	Loan     monotime.Micros `json:"Loan"`     // until the loan in force ends; 0 is that there is none
-	Shares   []Share         `json:"Shares"`
-	Members  int             `json:"Members"`  // whose words the book has
-	Learning monotime.Micros `json:"Learning"` // keeping the book, until it lends anew; 0 is that it does
-	Loans    []quota.Loan    `json:"Loans"`    // if it keeps the book
+	Begun    bool                `json:"Begun"`
+	Book     string              `json:"Book"`     // who keeps it, as far as is known
+	HeardAgo monotime.Micros     `json:"HeardAgo"` // from the book
+	Loan     monotime.Micros     `json:"Loan"`     // until the loan in force ends; 0 is that there is none
+	Shares   []Share             `json:"Shares"`
+	Members  int                 `json:"Members"`  // whose words the book has
+	Learning monotime.Micros     `json:"Learning"` // keeping the book, until it lends anew; 0 is that it does
+	Loans    []quota.LeaseStatus `json:"Loans"`    // if it keeps the book
 }
 
 // Share is what an instance may spend of a budget.
@@ -344,17 +344,17 @@
 
 // View returns what the instance knows.
 func (m *Member) View(now monotime.Micros) View {
-	term, at := m.holder.Book()
+	term, at := m.holder.KnownAllocator()
 	v := View{Begun: m.Begun(), Book: term.Holder, HeardAgo: now - at, Members: m.told.Members}
-	if until, _, _, yes := m.holder.Loan(now); yes {
+	if until, _, _, yes := m.holder.HeldLease(now); yes {
 		v.Loan = until - now
 	}
-	for _, name := range m.holder.Names() {
-		v.Shares = append(v.Shares, Share{name, m.holder.Allowed(now, name), m.holder.Allowed(now, name) - m.holder.Left(now, name)})
+	for _, name := range m.holder.BudgetNames() {
+		v.Shares = append(v.Shares, Share{name, m.holder.Allowed(now, name), m.holder.Allowed(now, name) - m.holder.Available(now, name)})
 	}
-	if _, open := m.book.Open(); open {
-		v.Learning = max(0, m.book.Learning()-now)
-		v.Loans = m.book.Loans(now)
+	if _, open := m.book.ActiveTerm(); open {
+		v.Learning = max(0, m.book.RecoveringUntil()-now)
+		v.Loans = m.book.Leases(now)
 	}
 	return v
 }
--- a/internal/decide/quota/divide.go
+++ b/internal/decide/quota/divide.go
@@ -10,42 +10,42 @@
 
 // silent is after how many periods without a question a holder is taken to want nothing. What it was lent is its own until that
 // has ended.
-const silent = 3
+const silentIntervals = 3
 
 // divide decides anew what each holder is to have of each budget: by max-min over what they want (Bertsekas and Gallager,
 // "Data Networks", 6.5.2), in whole units. Where not all can have what they want, a holder that does not use what it has
 // counts for no more than twice that: one that asks for everything gets what fairness gives.
-func (b *Book) divide(now monotime.Micros) {
-	b.dividedAt, b.stale = now, false
-	var heard []*borrower
-	for _, x := range b.order {
+func (b *Allocator) divide(now monotime.Micros) {
+	b.dividedAt, b.dirty = now, false
+	var heard []*lesseeRecord
+	for _, x := range b.sortedLessees {
 		clear(x.targets)
-		b.count(now, x)
-		if now-x.heardAt <= silent*b.s.Every {
+		b.recountCommitted(now, x)
+		if now-x.lastRequestAt <= silentIntervals*b.settings.RequestInterval {
 			heard = append(heard, x)
 		}
 	}
-	for k, name := range b.names {
+	for k, name := range b.budgetNames {
 		budget := b.budgets[name]
-		if budget.earned {
+		if budget.contributed {
 			budget.units = 0
 			for _, x := range heard {
-				budget.units += x.wants[name].Earns
+				budget.units += x.demands[name].Contributed
 			}
 			budget.units = min(budget.units, budget.ceiling)
 		}
 		if len(heard) > 0 {
-			b.split(now, name, uint64(k), heard)
+			b.divideBudget(now, name, uint64(k), heard)
 		}
 	}
 }
 
 // turn is for how long the same holders come first where there is less than a unit for each.
-const turn = 4 * second
+const rotationPeriod = 4 * second
 
 // split divides one budget.
-func (b *Book) split(now monotime.Micros, name string, seed uint64, heard []*borrower) {
-	left := b.lendable(name)
+func (b *Allocator) divideBudget(now monotime.Micros, name string, seed uint64, heard []*lesseeRecord) {
+	left := b.leasableUnits(name)
 	if left <= 0 {
 		return
 	}
@@ -54,15 +54,15 @@
 	order := make([]int, len(heard))
 	turns := make([]uint64, len(heard))
 	for i, x := range heard {
-		w := x.wants[name]
-		wants[i] = int(min(math.Ceil(w.Asked), float64(left)))
+		w := x.demands[name]
+		wants[i] = int(min(math.Ceil(w.Requested), float64(left)))
 		total += wants[i]
 		order[i] = i
-		turns[i] = mix(seed, uint64(now/turn), text(x.name))
+		turns[i] = mixSeeds(seed, uint64(now/rotationPeriod), hashString(x.name))
 	}
 	if total > left {
 		for i, x := range heard {
-			if w := x.wants[name]; w.Used < spends*float64(w.Holds) {
+			if w := x.demands[name]; w.Used < minUtilization*float64(w.Held) {
 				wants[i] = min(wants[i], int(math.Ceil(math.Max(fair, 2*w.Used))))
 			}
 		}
@@ -95,10 +95,10 @@
 }
 
 // spends is the part of what it holds that a holder must use to be taken at its word that it wants more.
-const spends = 0.7
+const minUtilization = 0.7
 
 // mix is a number that three others give, without order (SplitMix64).
-func mix(a, b, c uint64) uint64 {
+func mixSeeds(a, b, c uint64) uint64 {
 	z := a
 	for _, v := range [...]uint64{b, c} {
 		z = (z ^ v) + 0x9e3779b97f4a7c15
@@ -110,7 +110,7 @@
 }
 
 // text is a hash of a text (FNV-1a).
-func text(s string) uint64 {
+func hashString(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := range len(s) {
 		h = (h ^ uint64(s[i])) * 1099511628211
--- a/internal/decide/quota/golden_test.go
+++ b/internal/decide/quota/golden_test.go
@@ -15,11 +15,11 @@
 // of what a process hands to its successor, which may be of another build.
 func goldenState() *State {
 	return &State{
-		Life: 0xfedcba9876543210, Number: 23, Term: lease.Term{Holder: "instance-1", Incarnation: 9, Round: 17}, Of: 5,
-		OfTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2}, Left: 1_234_567, Age: 77_000_000,
-		Pots: []PotState{
-			{Budget: "further", Lent: 40},
-			{Budget: "tenant/one", Lent: 1, Spent: []monotime.Micros{999_999, 500_000, 1}},
+		Incarnation: 0xfedcba9876543210, Sequence: 23, Term: lease.Term{Holder: "instance-1", Incarnation: 9, Round: 17}, HeldSerial: 5,
+		HeldTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2}, Remaining: 1_234_567, Age: 77_000_000,
+		Buckets: []BucketState{
+			{Budget: "further", Leased: 40},
+			{Budget: "tenant/one", Leased: 1, Spent: []monotime.Micros{999_999, 500_000, 1}},
 		},
 	}
 }
--- a/internal/decide/quota/loans.go
+++ b/internal/decide/quota/loans.go
@@ -28,12 +28,12 @@
 
 // Settings are the same for all instances of a fleet, but for Place.
 type Settings struct {
-	Most   int             // instances that may run at once, at most: for so many a least is held ready
-	Ready  float64         // the part of each budget that is; 1 is that nothing is lent, and all is divided by number and place
-	Place  int             // of this one among them: of what does not divide the first have one more
-	Length monotime.Micros // of a loan
-	Every  monotime.Micros // from one question of a holder to its next
-	Drift  float64
+	MaxInstances    int             // instances that may run at once, at most: for so many a least is held ready
+	Reserve         float64         // the part of each budget that is; 1 is that nothing is lent, and all is divided by number and place
+	Position        int             // of this one among them: of what does not divide the first have one more
+	LeaseDuration   monotime.Micros // of a loan
+	RequestInterval monotime.Micros // from one question of a holder to its next
+	MaxClockDrift   float64
 }
 
 // SettingError names a setting that makes no sense.
@@ -45,74 +45,76 @@
 // Check returns a *SettingError of settings that make no sense.
 func (s *Settings) Check() error {
 	switch {
-	case s.Most < 1:
+	case s.MaxInstances < 1:
 		return &SettingError{"most", "must be at least 1"}
-	case !(s.Ready >= 0 && s.Ready <= 1):
+	case !(s.Reserve >= 0 && s.Reserve <= 1):
 		return &SettingError{"ready", "must be in 0..1"}
-	case s.Every < 1000:
+	case s.RequestInterval < 1000:
 		return &SettingError{"every", "must be a millisecond at least"}
-	case s.Length < 4*s.Every:
+	case s.LeaseDuration < 4*s.RequestInterval:
 		return &SettingError{"length", "must be four times every at least, or a lost word ends a loan"}
-	case !(s.Drift >= 0 && s.Drift <= 0.1):
+	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= 0.1):
 		return &SettingError{"drift", "must be in 0..0.1"}
 	}
 	return nil
 }
 
 // Least returns what of a budget of so many units each instance has without a loan: its part of what is held ready.
-func (s *Settings) Least(units float64) int {
-	n := int(s.Ready * units / float64(s.Most))
-	if s.Ready == 1 && s.Place < int(units)-n*s.Most {
+func (s *Settings) Minimum(units float64) int {
+	n := int(s.Reserve * units / float64(s.MaxInstances))
+	if s.Reserve == 1 && s.Position < int(units)-n*s.MaxInstances {
 		n++
 	}
 	return n
 }
 
 // Lendable returns what of it can be lent.
-func (s *Settings) Lendable(units float64) int {
-	if s.Ready == 1 {
+func (s *Settings) Leasable(units float64) int {
+	if s.Reserve == 1 {
 		return 0
 	}
-	return int(units) - s.Least(units)*s.Most
+	return int(units) - s.Minimum(units)*s.MaxInstances
 }
 
 // window is the second within which a budget holds, as long as it is by any clock.
-func (s *Settings) window() monotime.Micros { return lease.ExtendForDrift(second, s.Drift) }
+func (s *Settings) window() monotime.Micros { return lease.ExtendForDrift(second, s.MaxClockDrift) }
 
 // over is for how long a loan that is given now may be in force.
-func (s *Settings) over() monotime.Micros { return lease.ExtendForDrift(s.Length, s.Drift) }
+func (s *Settings) leaseLifetime() monotime.Micros {
+	return lease.ExtendForDrift(s.LeaseDuration, s.MaxClockDrift)
+}
 
 // Want is what a holder says of a budget.
-type Want struct {
-	Budget string  `cbor:"Budget"`
-	Asked  float64 `cbor:"Asked"` // units a second that it would spend
-	Used   float64 `cbor:"Used"`  // that it spent of late
-	Holds  int     `cbor:"Holds"` // units of the loan in force
-	Earns  float64 `cbor:"Earns"` // of a budget that holders earn: what this one adds to it
+type Demand struct {
+	Budget      string  `cbor:"Budget"`
+	Requested   float64 `cbor:"Asked"` // units a second that it would spend
+	Used        float64 `cbor:"Used"`  // that it spent of late
+	Held        int     `cbor:"Holds"` // units of the loan in force
+	Contributed float64 `cbor:"Earns"` // of a budget that holders earn: what this one adds to it
 }
 
 // Ask is a holder's question: what may I spend?
-type Ask struct {
-	Life   uint64     `cbor:"Life"`   // of the holder
-	Number uint64     `cbor:"Number"` // of the question; they grow
-	Term   lease.Term `cbor:"Term"`   // of the book that is asked, as far as the holder knows it: a book answers no question of another term with a loan
-	Of     uint64     `cbor:"Of"`     // the loan in force, by its serial; 0 is none
-	OfTerm lease.Term `cbor:"OfTerm"` // and who lent it
-	Wants  []Want     `cbor:"Wants"`
+type LeaseRequest struct {
+	Incarnation uint64     `cbor:"Life"`   // of the holder
+	Sequence    uint64     `cbor:"Number"` // of the question; they grow
+	Term        lease.Term `cbor:"Term"`   // of the book that is asked, as far as the holder knows it: a book answers no question of another term with a loan
+	HeldSerial  uint64     `cbor:"Of"`     // the loan in force, by its serial; 0 is none
+	HeldTerm    lease.Term `cbor:"OfTerm"` // and who lent it
+	Demands     []Demand   `cbor:"Wants"`
 }
 
 // Share is what of a budget a loan gives.
-type Share struct {
+type Allocation struct {
 	Budget string `cbor:"Budget"`
 	Units  int    `cbor:"Units"`
 }
 
 // Grant answers an Ask.
 type Grant struct {
-	Life   uint64          `cbor:"Life"`
-	Number uint64          `cbor:"Number"` // of the question
-	Term   lease.Term      `cbor:"Term"`
-	Serial uint64          `cbor:"Serial"` // of the loan; 0 is that this is none: ask again, in this term
-	Length monotime.Micros `cbor:"Length"` // from when the question went out, by the holder's clock
-	Shares []Share         `cbor:"Shares"`
+	Incarnation uint64          `cbor:"Life"`
+	Sequence    uint64          `cbor:"Number"` // of the question
+	Term        lease.Term      `cbor:"Term"`
+	Serial      uint64          `cbor:"Serial"` // of the loan; 0 is that this is none: ask again, in this term
+	Duration    monotime.Micros `cbor:"Length"` // from when the question went out, by the holder's clock
+	Allocations []Allocation    `cbor:"Shares"`
 }
--- a/internal/decide/quota/loans_test.go
+++ b/internal/decide/quota/loans_test.go
@@ -9,30 +9,30 @@
 	"dunlinsail/internal/monotime"
 )
 
-var settings = Settings{Most: 4, Ready: 0.2, Length: 3 * second, Every: second / 4, Drift: 0.005}
+var settings = Settings{MaxInstances: 4, Reserve: 0.2, LeaseDuration: 3 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}
 
 var term = lease.Term{Holder: "a", Incarnation: 1, Round: 1}
 
-func holder(t testing.TB) *Holder {
-	h, err := NewHolder(settings)
+func holder(t testing.TB) *Lessee {
+	h, err := NewLessee(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.Budget("b", 100) // 5 each are held ready
-	h.Begin(0, 7)
+	h.SetBudget("b", 100) // 5 each are held ready
+	h.Start(0, 7)
 	return h
 }
 
 // answer has a holder hear that it is lent so much, as the answer to a question of an instant.
-func answer(h *Holder, now monotime.Micros, a Ask, serial uint64, units int) {
-	h.Hear(now, Grant{Life: a.Life, Number: a.Number, Term: term, Serial: serial, Length: settings.Length, Shares: []Share{{"b", units}}})
+func answer(h *Lessee, now monotime.Micros, a LeaseRequest, serial uint64, units int) {
+	h.HandleGrant(now, Grant{Incarnation: a.Incarnation, Sequence: a.Sequence, Term: term, Serial: serial, Duration: settings.LeaseDuration, Allocations: []Allocation{{"b", units}}})
 }
 
-func asked(h *Holder, now monotime.Micros) Ask {
-	a := h.Ask(now)
+func asked(h *Lessee, now monotime.Micros) LeaseRequest {
+	a := h.NewRequest(now)
 	if a.Term != term {
-		h.Hear(now, Grant{Life: a.Life, Number: a.Number, Term: term})
-		a = h.Ask(now)
+		h.HandleGrant(now, Grant{Incarnation: a.Incarnation, Sequence: a.Sequence, Term: term})
+		a = h.NewRequest(now)
 	}
 	return a
 }
@@ -51,8 +51,8 @@
 		t.Errorf("%d may be spent three seconds after the question", n)
 	}
 	answer(h, 5*second+100, second1, 3, 30) // twice, and over
-	other := Grant{Life: 8, Number: second1.Number, Term: term, Serial: 9, Length: settings.Length, Shares: []Share{{"b", 30}}}
-	h.Hear(5*second, other) // another process's
+	other := Grant{Incarnation: 8, Sequence: second1.Sequence, Term: term, Serial: 9, Duration: settings.LeaseDuration, Allocations: []Allocation{{"b", 30}}}
+	h.HandleGrant(5*second, other) // another process's
 	if n := h.Allowed(5*second+100, "b"); n != 5 {
 		t.Errorf("%d may be spent by what is over, or another's", n)
 	}
@@ -61,30 +61,30 @@
 // A process that starts has nothing for a second, one that takes another's place goes on, and what it spent counts.
 func TestStartAndRestore(t *testing.T) {
 	h := holder(t)
-	if h.Take(second, "b") {
+	if h.Spend(second, "b") {
 		t.Error("spends within a second of its start")
 	}
 	answer(h, 2*second, asked(h, 2*second), 1, 10)
 	for range 12 {
-		if !h.Take(2*second+1, "b") {
+		if !h.Spend(2*second+1, "b") {
 			t.Fatal("12 of 15 cannot be spent")
 		}
 	}
-	s := h.Give(3 * second)
-	if h.Take(3*second, "b") {
+	s := h.HandOver(3 * second)
+	if h.Spend(3*second, "b") {
 		t.Error("spends what it has given away")
 	}
 	n := holder(t)
-	n.begun = false
+	n.active = false
 	n.Restore(3*second+1000, 1000, s) // by the same clock
 	left := 0
-	for n.Take(3*second+1000, "b") {
+	for n.Spend(3*second+1000, "b") {
 		left++
 	}
 	if left != 3 {
 		t.Errorf("%d are left of 15 after 12", left)
 	}
-	if _, _, _, yes := n.Loan(5*second + 1); yes {
+	if _, _, _, yes := n.HeldLease(5*second + 1); yes {
 		t.Error("the loan goes on beyond its end")
 	}
 }
@@ -92,15 +92,15 @@
 // What a book takes for used is within what it can lend, whatever holders ask and show.
 func TestNeverBeyond(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		b, err := NewBook(settings)
+		b, err := NewAllocator(settings)
 		if err != nil {
 			t.Fatal(err)
 		}
 		units := rapid.Float64Range(0, 300).Draw(r, "units")
-		b.Budget("b", units, false)
+		b.SetBudget("b", units, false)
 		now := monotime.Micros(0)
-		b.Begin(now, term)
-		now = b.Learning()
+		b.Start(now, term)
+		now = b.RecoveringUntil()
 		numbers := map[string]uint64{}
 		var wants int
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
@@ -108,24 +108,24 @@
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(r, "who")
 			numbers[name]++
 			want := rapid.Float64Range(0, 1000).Draw(r, "want")
-			g, ok := b.Hear(now, name, Ask{Life: 1, Number: numbers[name], Term: term, Of: rapid.Uint64Range(0, 30).Draw(r, "of"), OfTerm: term,
-				Wants: []Want{{Budget: "b", Asked: want, Used: rapid.Float64Range(0, 1000).Draw(r, "used"), Holds: rapid.IntRange(0, 1000).Draw(r, "holds")}}})
+			g, ok := b.HandleRequest(now, name, LeaseRequest{Incarnation: 1, Sequence: numbers[name], Term: term, HeldSerial: rapid.Uint64Range(0, 30).Draw(r, "of"), HeldTerm: term,
+				Demands: []Demand{{Budget: "b", Requested: want, Used: rapid.Float64Range(0, 1000).Draw(r, "used"), Held: rapid.IntRange(0, 1000).Draw(r, "holds")}}})
 			if !ok || g.Serial == 0 {
 				r.Fatal("no loan")
 			}
-			for _, s := range g.Shares {
+			for _, s := range g.Allocations {
 				wants += s.Units
 			}
 			if rapid.IntRange(0, 15).Draw(r, "change") == 0 {
-				b.Forget("b")
-				b.Budget("b", units, false)
+				b.RemoveBudget("b")
+				b.SetBudget("b", units, false)
 			}
 			sum := 0
-			for _, x := range b.order {
-				sum += x.used(now, "b")
+			for _, x := range b.sortedLessees {
+				sum += x.committedUnits(now, "b")
 			}
-			if sum > settings.Lendable(units) {
-				r.Fatalf("%d are lent of %d", sum, settings.Lendable(units))
+			if sum > settings.Leasable(units) {
+				r.Fatalf("%d are lent of %d", sum, settings.Leasable(units))
 			}
 		}
 	})
@@ -144,16 +144,16 @@
 		{4, []float64{1, 1, 1}, []float64{1, 1, 1}, []int{1, 1, 1}},
 		{100, []float64{0, 0, 4}, []float64{0, 0, 4}, []int{5, 5, 9}},
 	} {
-		b, _ := NewBook(settings)
-		b.Budget("b", c.units, false)
-		b.Begin(0, term)
-		now := b.Learning()
+		b, _ := NewAllocator(settings)
+		b.SetBudget("b", c.units, false)
+		b.Start(0, term)
+		now := b.RecoveringUntil()
 		for i := range c.wants {
 			name := string(rune('a' + i))
-			b.Hear(now, name, Ask{Life: 1, Number: 1, Term: term, Wants: []Want{{Budget: "b", Asked: c.wants[i], Used: c.used[i]}}})
+			b.HandleRequest(now, name, LeaseRequest{Incarnation: 1, Sequence: 1, Term: term, Demands: []Demand{{Budget: "b", Requested: c.wants[i], Used: c.used[i]}}})
 		}
 		b.divide(now)
-		for i, x := range b.order {
+		for i, x := range b.sortedLessees {
 			if x.targets["b"] < c.least[i] {
 				t.Errorf("%v units, wants %v: %s is to have %d, less than %d", c.units, c.wants, x.name, x.targets["b"], c.least[i])
 			}
@@ -163,13 +163,13 @@
 
 // A budget that holders earn is what they add up to, but no more than what others report.
 func TestEarned(t *testing.T) {
-	b, _ := NewBook(settings)
-	b.Budget("e", 0, true)
-	b.Begin(0, term)
-	now := b.Learning()
+	b, _ := NewAllocator(settings)
+	b.SetBudget("e", 0, true)
+	b.Start(0, term)
+	now := b.RecoveringUntil()
 	ask := func(name string, n uint64) (units int) {
-		g, _ := b.Hear(now, name, Ask{Life: 1, Number: n, Term: term, Wants: []Want{{Budget: "e", Asked: 1000, Used: 1000, Earns: 20}}})
-		for _, s := range g.Shares {
+		g, _ := b.HandleRequest(now, name, LeaseRequest{Incarnation: 1, Sequence: n, Term: term, Demands: []Demand{{Budget: "e", Requested: 1000, Used: 1000, Contributed: 20}}})
+		for _, s := range g.Allocations {
 			units += s.Units
 		}
 		return units
@@ -184,18 +184,18 @@
 	if a, b := both(1, 40); a != 16 || b != 16 { // 0.8 of 40 together
 		t.Errorf("%d and %d of 16", a, b)
 	}
-	b.Ceiling("e", 20)
+	b.SetCeiling("e", 20)
 	if a, b := both(41, 80); a != 8 || b != 8 {
 		t.Errorf("%d and %d of 8 under the ceiling", a, b)
 	}
 }
 
 func TestCheck(t *testing.T) {
-	for _, change := range []func(s *Settings){func(s *Settings) { s.Most = 0 }, func(s *Settings) { s.Ready = 2 }, func(s *Settings) { s.Every = 0 },
-		func(s *Settings) { s.Length = s.Every }, func(s *Settings) { s.Drift = 1 }} {
+	for _, change := range []func(s *Settings){func(s *Settings) { s.MaxInstances = 0 }, func(s *Settings) { s.Reserve = 2 }, func(s *Settings) { s.RequestInterval = 0 },
+		func(s *Settings) { s.LeaseDuration = s.RequestInterval }, func(s *Settings) { s.MaxClockDrift = 1 }} {
 		s := settings
 		change(&s)
-		if _, err := NewHolder(s); err == nil {
+		if _, err := NewLessee(s); err == nil {
 			t.Errorf("%+v is taken", s)
 		}
 	}
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -71,7 +71,7 @@
 	if !slices.ContainsFunc(x.config.Site.TenantLimits, func(v float64) bool { return v > 0 }) {
 		return
 	}
-	err := x.JoinFleet(Coordination{Fleet: coordination.Settings{Loans: quota.Settings{Most: max(1, s.Balancers), Place: s.Position, Ready: 1, Every: second, Length: 4 * second}},
+	err := x.JoinFleet(Coordination{Fleet: coordination.Settings{Loans: quota.Settings{MaxInstances: max(1, s.Balancers), Position: s.Position, Reserve: 1, RequestInterval: second, LeaseDuration: 4 * second}},
 		Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 1 }})
 	if err != nil {
 		panic(err) // of our own settings
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -49,7 +49,7 @@
 	x := New(Config{Site: s, Seed: 1, Host: h, Concurrency: ConcurrencySettings{MaxOpen: 1000}})
 	if uses != nil {
 		err := x.JoinFleet(Coordination{Scope: *uses, Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 7 }, Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
-			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
+			Loans: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/engine/fleetquota.go
+++ b/internal/engine/fleetquota.go
@@ -48,7 +48,7 @@
 	}
 	part := func(lends bool) float64 {
 		if lends {
-			return t.Fleet.Loans.Ready
+			return t.Fleet.Loans.Reserve
 		}
 		return 1
 	}
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -145,7 +145,7 @@
 	uses := CoordinationScope{Retries: true, Probes: true, TenantLimits: true, OverloadLevel: true, SuspectedEndpoints: true}
 	err := x.JoinFleet(Coordination{Scope: uses, Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 7 },
 		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
-			Loans: quota.Settings{Most: 1, Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}})
+			Loans: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -274,7 +274,7 @@
 		return nil, err
 	}
 	f := t.Fleet
-	f.Self, f.Lenders, f.Loans.Most = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.Lenders(f.Lenders, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
+	f.Self, f.Lenders, f.Loans.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.Lenders(f.Lenders, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
 	m, err := coordination.New(f)
 	if err != nil {
 		return nil, err
@@ -309,8 +309,8 @@
 			mu.Unlock()
 			for _, o := range out {
 				if o.Word.Ask != nil {
-					for i := range o.Word.Ask.Wants {
-						o.Word.Ask.Wants[i].Asked, o.Word.Ask.Wants[i].Earns = times, times
+					for i := range o.Word.Ask.Demands {
+						o.Word.Ask.Demands[i].Requested, o.Word.Ask.Demands[i].Contributed = times, times
 					}
 				}
 				p.Tell(o.To, o.Word)
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -22,12 +22,12 @@
 // goldenEnvelopes returns one message of each type, with the file that holds its encoded form.
 func goldenEnvelopes() map[string]envelope {
 	term := lease.Term{Holder: "instance-1", Incarnation: 0xfedcba9876543210, Round: 17}
-	ask := &quota.Ask{
-		Life: 0x0123456789abcdef, Number: 23, Term: term, Of: 5,
-		OfTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2},
-		Wants: []quota.Want{
-			{Budget: "further", Asked: 12.5, Used: 7.25, Holds: 40, Earns: 3.1},
-			{Budget: "tenant/one", Asked: 100, Used: 1e6, Holds: 1, Earns: 0.5},
+	ask := &quota.LeaseRequest{
+		Incarnation: 0x0123456789abcdef, Sequence: 23, Term: term, HeldSerial: 5,
+		HeldTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2},
+		Demands: []quota.Demand{
+			{Budget: "further", Requested: 12.5, Used: 7.25, Held: 40, Contributed: 3.1},
+			{Budget: "tenant/one", Requested: 100, Used: 1e6, Held: 1, Contributed: 0.5},
 		},
 	}
 	seen := &observations.Seen{
@@ -35,8 +35,8 @@
 		Counts: []observations.Count{{Endpoint: "pool/s-1", Class: 2, OK: 13.37, Failed: 4.5}},
 	}
 	grant := &quota.Grant{
-		Life: 0x0123456789abcdef, Number: 23, Term: term, Serial: 6, Length: 2_000_000,
-		Shares: []quota.Share{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
+		Incarnation: 0x0123456789abcdef, Sequence: 23, Term: term, Serial: 6, Duration: 2_000_000,
+		Allocations: []quota.Allocation{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
 	}
 	all := &observations.All{
 		Levels:   []observations.Level{{Of: "pool", Level: 0.5, Load: 0.25, Asked: 1200, Vain: 130}},
@@ -50,9 +50,9 @@
 			Remaining: 1_234_567}},
 		"lease-drop":       {Lease: &lease.Message{Kind: lease.VoteReleased, Incarnation: term.Incarnation, Round: 17}},
 		"quota-ask":        {Ask: ask, Seen: seen},
-		"quota-ask-empty":  {Ask: &quota.Ask{Life: 1, Number: 1}},
+		"quota-ask-empty":  {Ask: &quota.LeaseRequest{Incarnation: 1, Sequence: 1}},
 		"quota-grant":      {Grant: grant, All: all},
-		"quota-grant-none": {Grant: &quota.Grant{Life: 1, Number: 1, Term: term}},
+		"quota-grant-none": {Grant: &quota.Grant{Incarnation: 1, Sequence: 1, Term: term}},
 		"all-parts": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3}, Ask: ask, Seen: seen,
 			Grant: grant, All: all},
 	}
--- a/internal/simulation/gossipsim/talk.go
+++ b/internal/simulation/gossipsim/talk.go
@@ -34,7 +34,7 @@
 
 // Shipped are the settings that hold where operators say no more (package config).
 func Shipped() coordination.Settings {
-	return coordination.Settings{Lease: second, Loans: quota.Settings{Ready: 0.1, Length: 2 * second, Every: second / 4, Drift: 0.005}}
+	return coordination.Settings{Lease: second, Loans: quota.Settings{Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}
 }
 
 // Fault is something that goes wrong.
@@ -195,7 +195,7 @@
 func (w *world) start(x *member) error {
 	w.lives++
 	x.life = w.lives
-	x.rate = 1 + w.s.Fleet.Loans.Drift*(2*w.rng.Float64()-1)
+	x.rate = 1 + w.s.Fleet.Loans.MaxClockDrift*(2*w.rng.Float64()-1)
 	if w.s.Plant == "slow clocks" && x.n%3 == 1 {
 		x.rate = 0.5 // off by far more than what is stated
 	}
@@ -218,12 +218,12 @@
 func (w *world) member(x *member) (*coordination.Member, error) {
 	f := w.s.Fleet
 	f.Self, f.Lenders, f.Seed = x.name, w.lenders, w.s.Seed<<20+w.lives
-	f.Loans.Most = w.s.Members
+	f.Loans.MaxInstances = w.s.Members
 	if w.s.Plant == "two books" && x.n%2 == 1 {
 		f.Lenders = []string{x.name}
 	}
 	if w.s.Plant == "more than said" {
-		f.Loans.Most = max(1, w.s.Members/4)
+		f.Loans.MaxInstances = max(1, w.s.Members/4)
 	}
 	m, err := coordination.New(f)
 	if err == nil {
@@ -263,8 +263,8 @@
 		from.bytes += w.s.Size(o.Word)
 	}
 	if o.Word.Ask != nil && from.says != 1 {
-		for i := range o.Word.Ask.Wants {
-			o.Word.Ask.Wants[i].Asked *= from.says
+		for i := range o.Word.Ask.Demands {
+			o.Word.Ask.Demands[i].Requested *= from.says
 		}
 	}
 	to := w.byName[o.To]
@@ -282,11 +282,11 @@
 				copies++
 			}
 			if w.rng.Float64() < f.Factor {
-				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Loans.Length))
+				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Loans.LeaseDuration))
 			}
 		case "slow":
 			if slices.Contains(f.Of, from.n) {
-				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Loans.Length))
+				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Loans.LeaseDuration))
 			}
 		}
 	}
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -34,7 +34,7 @@
 	}
 	t := *in.run.settings.Together
 	t.Fleet.Lenders = Lenders(t.Fleet.Lenders, len(in.run.plan.Instances))
-	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Loans.Most = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
+	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Loans.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
 	lives := uint64(in.life) << 8
 	t.NextIncarnation = func() uint64 {
 		lives++
@@ -53,9 +53,9 @@
 		return // one that this run does not have
 	}
 	if times := r.plan.Lies(r.now); times != 1 && w.Ask != nil && in.n == len(r.instances)-1 {
-		for i := range w.Ask.Wants {
-			w.Ask.Wants[i].Asked *= times
-			w.Ask.Wants[i].Earns *= times
+		for i := range w.Ask.Demands {
+			w.Ask.Demands[i].Requested *= times
+			w.Ask.Demands[i].Contributed *= times
 		}
 	}
 	r.words++
