Name what instances observe: Observations, Local, Aggregator, Aggregate

Seen, Own, Sum, All, vain and the like become Observations, Local, Aggregator, Aggregate, failed, in package observations and where others use it.

--- a/internal/decide/coordination/fleet.go
+++ b/internal/decide/coordination/fleet.go
@@ -28,11 +28,11 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Lease *lease.Message      `cbor:"Lease"`
-	Ask   *quota.LeaseRequest `cbor:"Ask"`
-	Seen  *observations.Seen  `cbor:"Seen"` // with Ask
-	Grant *quota.Grant        `cbor:"Grant"`
-	All   *observations.All   `cbor:"All"` // with Grant
+	Lease *lease.Message             `cbor:"Lease"`
+	Ask   *quota.LeaseRequest        `cbor:"Ask"`
+	Seen  *observations.Observations `cbor:"Seen"` // with Ask
+	Grant *quota.Grant               `cbor:"Grant"`
+	All   *observations.Aggregate    `cbor:"All"` // with Grant
 }
 
 // Out is a word that is to be told.
@@ -48,14 +48,14 @@
 	holder *quota.Lessee
 	voter  *lease.Voter // nil for who is no lender
 	book   *quota.Allocator
-	sum    *observations.Sum
+	sum    *observations.Aggregator
 	joint  map[string]*overload.SharedLevel // levels, by set of endpoints, while it keeps the book
-	all    observations.All                 // that it comes to,
+	all    observations.Aggregate           // that it comes to,
 	allAt  monotime.Micros                  // as added up last
 	out    []Out
 
-	seen   func(now monotime.Micros) observations.Seen // what it has seen itself; may be nil
-	told   observations.All                            // what all have
+	seen   func(now monotime.Micros) observations.Observations // what it has seen itself; may be nil
+	told   observations.Aggregate                              // what all have
 	toldAt monotime.Micros
 	news   bool // since it was taken last
 	askAt  monotime.Micros
@@ -64,7 +64,7 @@
 
 // New returns an instance that has not begun, or the error of settings that make no sense.
 func New(s Settings) (*Member, error) {
-	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: observations.NewSum(), joint: map[string]*overload.SharedLevel{}}
+	m := &Member{s: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), sum: observations.NewAggregator(), joint: map[string]*overload.SharedLevel{}}
 	var err error
 	if m.holder, err = quota.NewLessee(s.Loans); err != nil {
 		return nil, err
@@ -86,7 +86,7 @@
 }
 
 // Sees says what tells what the instance has seen itself.
-func (m *Member) Sees(f func(now monotime.Micros) observations.Seen) { m.seen = f }
+func (m *Member) Sees(f func(now monotime.Micros) observations.Observations) { m.seen = f }
 
 // Begin begins the instance's life, as a process that no other is beside. life is a number that no other process of its name
 // has had.
@@ -212,7 +212,7 @@
 	}
 	if _, open := m.book.ActiveTerm(); yes && !open {
 		m.book.Start(now, held)
-		m.sum, m.all, m.allAt = observations.NewSum(), observations.All{}, now
+		m.sum, m.all, m.allAt = observations.NewAggregator(), observations.Aggregate{}, now
 		clear(m.joint)
 	}
 }
@@ -270,7 +270,7 @@
 		}
 		answer := Word{Grant: &g}
 		if w.Seen != nil {
-			m.sum.Hear(now, from, *w.Seen)
+			m.sum.Receive(now, from, *w.Seen)
 		}
 		if g.Serial != 0 {
 			all := m.everything(now) // its own copy: it goes on while the sum is made anew
@@ -291,18 +291,18 @@
 }
 
 // everything is what all have seen, added up once in a while.
-func (m *Member) everything(now monotime.Micros) observations.All {
+func (m *Member) everything(now monotime.Micros) observations.Aggregate {
 	if now-m.allAt >= m.s.Loans.RequestInterval/4 {
-		m.all, m.allAt = m.sum.All(now), now
+		m.all, m.allAt = m.sum.Aggregate(now), now
 		m.all.Levels = slices.Clone(m.all.Levels)
 		for i := range m.all.Levels {
 			l := &m.all.Levels[i]
-			j := m.joint[l.Of]
+			j := m.joint[l.EndpointSet]
 			if j == nil {
 				j = overload.NewSharedLevel(now, l.Level)
-				m.joint[l.Of] = j
+				m.joint[l.EndpointSet] = j
 			}
-			l.Level = j.Update(now, l.Asked, l.Vain, l.Load)
+			l.Level = j.Update(now, l.Requests, l.Failed, l.Load)
 		}
 	}
 	return m.all
@@ -313,9 +313,9 @@
 
 // Told returns what all have seen, once each time that it is news; ok is false where nothing new was heard. Where nothing has
 // been heard for long it returns nothing as news, once.
-func (m *Member) Told(now monotime.Micros) (all observations.All, ok bool) {
+func (m *Member) Told(now monotime.Micros) (all observations.Aggregate, ok bool) {
 	if !m.news && m.told.Members > 0 && now-m.toldAt > old*m.s.Loans.RequestInterval {
-		m.told, m.news = observations.All{}, true
+		m.told, m.news = observations.Aggregate{}, true
 	}
 	ok, m.news = m.news, false
 	return m.told, ok
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -32,7 +32,7 @@
 type fleetCoordinator struct {
 	Coordination
 	member            *coordination.Member
-	localObservations observations.Own
+	localObservations observations.Local
 	timer             *timer
 	suspicions        map[suspectKey]float64 // what was told last
 	tenantBudgets     []string               // budgets of the tenants, in their order; empty is of one without a limit
@@ -153,7 +153,7 @@
 const maxObservedCounts = 32
 
 // sees is what this instance has seen, with what it adds to the budgets that are earned.
-func (x *Engine) observe(now monotime.Micros) (s observations.Seen) {
+func (x *Engine) observe(now monotime.Micros) (s observations.Observations) {
 	t := x.fleet
 	for _, p := range x.pools {
 		l := p.overload
@@ -167,27 +167,27 @@
 		}
 		if t.Scope.OverloadLevel {
 			level, load, asked, vain := l.control.TakeObservations()
-			s.Levels = append(s.Levels, observations.Level{Of: p.name, Level: level, Load: load, Asked: float64(asked), Vain: float64(vain)})
+			s.Levels = append(s.Levels, observations.OverloadLevel{EndpointSet: p.name, Level: level, Load: load, Requests: float64(asked), Failed: float64(vain)})
 		}
 		p.updateFleetShare(now)
 	}
 	if t.Scope.SuspectedEndpoints {
-		s.Counts = t.localObservations.Counts(now, maxObservedCounts)
+		s.Outcomes = t.localObservations.Outcomes(now, maxObservedCounts)
 	}
 	return s
 }
 
 // told takes in what all have seen.
-func (x *Engine) applyObservations(now monotime.Micros, all *observations.All) {
+func (x *Engine) applyObservations(now monotime.Micros, all *observations.Aggregate) {
 	t := x.fleet
 	fresh := map[suspectKey]float64{}
 	for _, s := range all.Suspects {
-		fresh[suspectKey{s.Endpoint, s.Class}] = s.Chance
+		fresh[suspectKey{s.Endpoint, s.Class}] = s.AvoidProbability
 	}
 	for _, p := range x.pools {
 		if l := p.overload; l != nil && t.Scope.OverloadLevel {
 			for _, of := range all.Levels {
-				if of.Of == p.name {
+				if of.EndpointSet == p.name {
 					l.control.ApplySharedLevel(now, of.Level, of.Load)
 				}
 			}
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -177,11 +177,11 @@
 	}
 	count(0)
 	before := count(1)
-	x.applyObservations(now, &observations.All{Suspects: []observations.Suspect{{Endpoint: "e1", Class: 1, Chance: 0.95}, {Endpoint: "gone", Class: 0, Chance: 1}}})
+	x.applyObservations(now, &observations.Aggregate{Suspects: []observations.Suspect{{Endpoint: "e1", Class: 1, AvoidProbability: 0.95}, {Endpoint: "gone", Class: 0, AvoidProbability: 1}}})
 	if suspected, other := count(1), count(0); suspected > 0.04 || other < 0.06 { // without probes the one that seems fastest gets most, whichever that is
 		t.Errorf("%.2f go to the one that is suspected, %.2f before, %.2f of the other class", suspected, before, other)
 	}
-	x.applyObservations(now, &observations.All{})
+	x.applyObservations(now, &observations.Aggregate{})
 	if n := count(1); n < 0.06 {
 		t.Errorf("%.2f go there once nothing is held against it, %.2f before", n, before)
 	}
--- a/internal/engine/fleetquota.go
+++ b/internal/engine/fleetquota.go
@@ -115,7 +115,7 @@
 	switch status {
 	case balancer.Cancelled, balancer.Moot:
 	default:
-		t.localObservations.Ended(now, p.observationKey(a.Endpoint.Name), int(a.Call.Request.Class), status == balancer.OK)
+		t.localObservations.RecordOutcome(now, p.observationKey(a.Endpoint.Name), int(a.Call.Request.Class), status == balancer.OK)
 	}
 }
 
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -30,18 +30,18 @@
 			{Budget: "tenant/one", Requested: 100, Used: 1e6, Held: 1, Contributed: 0.5},
 		},
 	}
-	seen := &observations.Seen{
-		Levels: []observations.Level{{Of: "pool", Level: 0.75, Load: 0.3, Asked: 120, Vain: 13}},
-		Counts: []observations.Count{{Endpoint: "pool/s-1", Class: 2, OK: 13.37, Failed: 4.5}},
+	seen := &observations.Observations{
+		Levels:   []observations.OverloadLevel{{EndpointSet: "pool", Level: 0.75, Load: 0.3, Requests: 120, Failed: 13}},
+		Outcomes: []observations.OutcomeCount{{Endpoint: "pool/s-1", Class: 2, Succeeded: 13.37, Failed: 4.5}},
 	}
 	grant := &quota.Grant{
 		Incarnation: 0x0123456789abcdef, Sequence: 23, Term: term, Serial: 6, Duration: 2_000_000,
 		Allocations: []quota.Allocation{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
 	}
-	all := &observations.All{
-		Levels:   []observations.Level{{Of: "pool", Level: 0.5, Load: 0.25, Asked: 1200, Vain: 130}},
+	all := &observations.Aggregate{
+		Levels:   []observations.OverloadLevel{{EndpointSet: "pool", Level: 0.5, Load: 0.25, Requests: 1200, Failed: 130}},
 		Members:  9,
-		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, Chance: 0.95}},
+		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, AvoidProbability: 0.95}},
 	}
 	words := map[string]coordination.Word{
 		"lease-ask": {Lease: &lease.Message{Kind: lease.VoteRequest, Incarnation: term.Incarnation, Round: 17}},
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -62,15 +62,15 @@
 	defer c.Close(false)
 	until(t, "they do not find one another", func() bool { return alive(a, "b") && alive(b, "a") })
 	small := coordination.Word{Ask: &quota.LeaseRequest{Incarnation: 1, Sequence: 2, Demands: []quota.Demand{{Budget: "x", Requested: 1.5, Held: 3}}}}
-	large := coordination.Word{Ask: small.Ask, Seen: &observations.Seen{}}
+	large := coordination.Word{Ask: small.Ask, Seen: &observations.Observations{}}
 	for i := range 200 {
-		large.Seen.Counts = append(large.Seen.Counts, observations.Count{Endpoint: fmt.Sprint("endpoint-", i), OK: float64(i)})
+		large.Seen.Outcomes = append(large.Seen.Outcomes, observations.OutcomeCount{Endpoint: fmt.Sprint("endpoint-", i), Succeeded: float64(i)})
 	}
 	for _, w := range []coordination.Word{small, large} {
 		b.Tell("a", w)
 		select {
 		case h := <-hears:
-			if h.from != "b" || fmt.Sprint(h.word.Ask.Demands) != fmt.Sprint(w.Ask.Demands) || w.Seen != nil && len(h.word.Seen.Counts) != 200 {
+			if h.from != "b" || fmt.Sprint(h.word.Ask.Demands) != fmt.Sprint(w.Ask.Demands) || w.Seen != nil && len(h.word.Seen.Outcomes) != 200 {
 				t.Errorf("heard %+v", h)
 			}
 		case <-time.After(20 * time.Second):
