--- a/internal/configcache/kept_test.go
+++ b/internal/configcache/cache_test.go
@@ -17,12 +17,12 @@
 	return &rollout.Version{ID: rollout.ID{Source: rollout.SourceControlPlane, Epoch: "a", Number: n}, Digest: fmt.Sprintf("%02x", n)}
 }
 
-func state(good, before uint64) *rollout.PersistentState {
+func newState(good, before uint64) *rollout.PersistentState {
 	file := rollout.Version{ID: rollout.ID{Source: rollout.SourceFile, Number: 1}, Digest: "ff"}
 	return &rollout.PersistentState{LastKnownGood: &rollout.LayeredVersion{ControlPlane: version(good), File: file}, PreviousGood: &rollout.LayeredVersion{ControlPlane: version(before), File: file}}
 }
 
-func contents(n ...uint64) map[string][]byte {
+func newContents(n ...uint64) map[string][]byte {
 	all := map[string][]byte{"ff": []byte("file")}
 	for _, n := range n {
 		all[fmt.Sprintf("%02x", n)] = fmt.Append(nil, "content ", n)
@@ -30,7 +30,7 @@
 	return all
 }
 
-func names(t *testing.T, d *Cache) (all []string) {
+func fileNames(t *testing.T, d *Cache) (all []string) {
 	t.Helper()
 	entries, err := os.ReadDir(d.path)
 	if err != nil {
@@ -42,7 +42,7 @@
 	return all
 }
 
-func open(t *testing.T) *Cache {
+func openTemporary(t *testing.T) *Cache {
 	t.Helper()
 	d, err := Open(filepath.Join(t.TempDir(), "versions"))
 	if err != nil {
@@ -51,7 +51,7 @@
 	return d
 }
 
-func (d *Cache) good(t *testing.T) uint64 {
+func (d *Cache) mustLastKnownGood(t *testing.T) uint64 {
 	t.Helper()
 	k, _, err := d.Load()
 	if err != nil || k == nil {
@@ -62,19 +62,19 @@
 
 // What is saved is loaded, what is not needed goes, and what is spoilt is passed over for the one before.
 func TestSaveAndLoad(t *testing.T) {
-	d := open(t)
+	d := openTemporary(t)
 	if k, _, err := d.Load(); k != nil || err != nil {
 		t.Errorf("of nothing: %v, %v", k, err)
 	}
 	for n := uint64(1); n < 5; n++ {
-		if err := d.Save(state(n, n-1), contents(n, n-1)); err != nil {
+		if err := d.Save(newState(n, n-1), newContents(n, n-1)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if got := d.good(t); got != 4 {
+	if got := d.mustLastKnownGood(t); got != 4 {
 		t.Errorf("good %d", got)
 	}
-	if got := names(t, d); !slices.Equal(got, []string{"content-02", "content-03", "content-04", "content-ff", "state", "state.before"}) {
+	if got := fileNames(t, d); !slices.Equal(got, []string{"content-02", "content-03", "content-04", "content-ff", "state", "state.before"}) {
 		t.Errorf("files %v", got)
 	}
 	if text, err := d.Content("04"); string(text) != "content 4" || err != nil {
@@ -98,7 +98,7 @@
 		}
 	}
 	// What is spoilt does not take the place of the one before it.
-	if err := d.Save(state(5, 4), contents(5, 4)); err != nil {
+	if err := d.Save(newState(5, 4), newContents(5, 4)); err != nil {
 		t.Fatal(err)
 	}
 	os.WriteFile(filepath.Join(d.path, stateFile), nil, 0o600)
@@ -112,12 +112,12 @@
 }
 
 // A crash between any two steps leaves what was there, or what is new, and the next saving goes on from either.
-func TestCrashes(t *testing.T) {
+func TestCrashBetweenSteps(t *testing.T) {
 	for _, leave := range [][]string{
 		{"content-03.part"}, {"state.part"}, {"state.before.part"}, {"content-03.part", "state.part", "state.before.part"},
 	} {
-		d := open(t)
-		if err := d.Save(state(2, 1), contents(1, 2)); err != nil {
+		d := openTemporary(t)
+		if err := d.Save(newState(2, 1), newContents(1, 2)); err != nil {
 			t.Fatal(err)
 		}
 		for _, name := range leave {
@@ -125,17 +125,17 @@
 				t.Fatal(err)
 			}
 		}
-		if got := d.good(t); got != 2 {
+		if got := d.mustLastKnownGood(t); got != 2 {
 			t.Errorf("%v: good %d", leave, got)
 		}
-		if err := d.Save(state(3, 2), contents(2, 3)); err != nil {
+		if err := d.Save(newState(3, 2), newContents(2, 3)); err != nil {
 			t.Fatalf("%v: %v", leave, err)
 		}
-		if got := d.good(t); got != 3 {
+		if got := d.mustLastKnownGood(t); got != 3 {
 			t.Errorf("%v: good %d", leave, got)
 		}
 		os.Remove(filepath.Join(d.path, stateFile))
-		if got := d.good(t); got != 2 {
+		if got := d.mustLastKnownGood(t); got != 2 {
 			t.Errorf("%v: before is %d: half a file took its place", leave, got)
 		}
 	}
@@ -143,8 +143,8 @@
 
 // A disk that is full takes nothing, says so, and has what it had.
 func TestFullDisk(t *testing.T) {
-	d := open(t)
-	if err := d.Save(state(2, 1), contents(1, 2)); err != nil {
+	d := openTemporary(t)
+	if err := d.Save(newState(2, 1), newContents(1, 2)); err != nil {
 		t.Fatal(err)
 	}
 	// /dev/full says of each write what a full disk says.
@@ -153,24 +153,24 @@
 		if err := os.Symlink("/dev/full", part); err != nil {
 			t.Fatal(err)
 		}
-		if err := d.Save(state(3, 2), contents(2, 3)); !errors.Is(err, syscall.ENOSPC) {
+		if err := d.Save(newState(3, 2), newContents(2, 3)); !errors.Is(err, syscall.ENOSPC) {
 			t.Errorf("%s: %v", name, err)
 		}
 		if k, _, err := d.Load(); err != nil || k.LastKnownGood.ControlPlane.Number != 2 {
 			t.Errorf("%s: %v, %v", name, k, err)
 		}
-		if got := strings.Join(names(t, d), " "); strings.Contains(got, "part") {
+		if got := strings.Join(fileNames(t, d), " "); strings.Contains(got, "part") {
 			t.Errorf("left behind: %s", got)
 		}
 	}
-	if err := d.Save(state(3, 2), contents(2, 3)); err != nil || d.good(t) != 3 {
+	if err := d.Save(newState(3, 2), newContents(2, 3)); err != nil || d.mustLastKnownGood(t) != 3 {
 		t.Errorf("once there is room: %v", err)
 	}
 }
 
 // A folder that cannot be written to or made is an error.
-func TestFolderThatCannotBe(t *testing.T) {
-	d := open(t)
+func TestUnusableFolder(t *testing.T) {
+	d := openTemporary(t)
 	path := filepath.Join(d.path, "file")
 	if err := os.WriteFile(path, nil, 0o600); err != nil {
 		t.Fatal(err)
@@ -179,7 +179,7 @@
 		t.Error("a folder in a file")
 	}
 	os.RemoveAll(d.path)
-	if err := d.Save(state(1, 0), contents(0, 1)); err == nil {
+	if err := d.Save(newState(1, 0), newContents(0, 1)); err == nil {
 		t.Error("a folder that has gone")
 	}
 }
--- /dev/null
+++ b/internal/configcache/files.go
@@ -0,0 +1,105 @@
+package configcache
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// fileMode is the mode of all files: contents may hold what is not for other users.
+const fileMode = 0o600
+
+// readFile reads a file of at most maxFileBytes.
+func (c *Cache) readFile(name string) ([]byte, error) {
+	f, err := os.Open(filepath.Join(c.path, name))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err == nil && len(text) > maxFileBytes {
+		err = fmt.Errorf("%w: over %d bytes", ErrCorrupt, maxFileBytes)
+	}
+	return text, err
+}
+
+// writeFile replaces a file atomically and durably, or leaves it as it was.
+func (c *Cache) writeFile(name string, text []byte) error {
+	path := filepath.Join(c.path, name)
+	temporary := path + temporarySuffix
+	if err := writeAndSync(temporary, text); err != nil {
+		os.Remove(temporary) // frees space on a full disk
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		os.Remove(temporary)
+		return err
+	}
+	return c.syncFolder()
+}
+
+func writeAndSync(path string, text []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// syncFolder makes the folder's entries durable.
+func (c *Cache) syncFolder() error {
+	f, err := os.Open(c.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// backUpState makes the state file the previous one too, unless it is missing or corrupt.
+func (c *Cache) backUpState() error {
+	if _, err := c.loadState(stateFile); err != nil {
+		return nil //nolint:nilerr // the previous one is better than a corrupt one
+	}
+	previous := filepath.Join(c.path, previousStateFile)
+	temporary := previous + temporarySuffix
+	os.Remove(temporary) // of a process that crashed here
+	if err := os.Link(filepath.Join(c.path, stateFile), temporary); err != nil {
+		return err
+	}
+	return os.Rename(temporary, previous)
+}
+
+// removeUnreferenced removes contents that neither state refers to. Failures are ignored: such a file does no harm,
+// and the next Save tries again.
+func (c *Cache) removeUnreferenced() {
+	referenced := map[string]bool{}
+	for _, name := range []string{stateFile, previousStateFile} {
+		state, err := c.loadState(name)
+		if err != nil {
+			continue
+		}
+		for digest := range referencedDigests(state) {
+			referenced[contentPrefix+digest] = true
+		}
+	}
+	entries, err := os.ReadDir(c.path)
+	if err != nil {
+		return
+	}
+	for _, entry := range entries {
+		name := entry.Name()
+		if strings.HasPrefix(name, contentPrefix) && !referenced[name] {
+			os.Remove(filepath.Join(c.path, name))
+		}
+	}
+}
--- a/internal/configcache/golden_test.go
+++ b/internal/configcache/golden_test.go
@@ -94,7 +94,7 @@
 func checkRewritten(t *testing.T, golden *Cache, newest *rollout.PersistentState) {
 	t.Helper()
 	contents := map[string][]byte{}
-	for _, name := range names(t, golden) {
+	for _, name := range fileNames(t, golden) {
 		if digest, isContent := strings.CutPrefix(name, contentPrefix); isContent {
 			text, err := golden.Content(digest)
 			if err != nil {
@@ -103,7 +103,7 @@
 			contents[digest] = text
 		}
 	}
-	rewritten := open(t)
+	rewritten := openTemporary(t)
 	if before, err := golden.loadState(previousStateFile); err == nil {
 		if err := rewritten.Save(before, contents); err != nil {
 			t.Fatal(err)
@@ -112,10 +112,10 @@
 	if err := rewritten.Save(newest, contents); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := fmt.Sprint(names(t, rewritten)), fmt.Sprint(names(t, golden)); got != want {
+	if got, want := fmt.Sprint(fileNames(t, rewritten)), fmt.Sprint(fileNames(t, golden)); got != want {
 		t.Errorf("files %v, want %v", got, want)
 	}
-	for _, name := range names(t, golden) {
+	for _, name := range fileNames(t, golden) {
 		want, err := os.ReadFile(filepath.Join(golden.path, name))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/decide/canary/analysis.go
+++ b/internal/decide/canary/analysis.go
@@ -13,8 +13,9 @@
 	severeHarm        = 0.5
 )
 
-// A canary that gets less than lostMaxFraction of the requests that the baseline's rate would bring has lost its clients:
-// if those would be lostMinExpected at least, and it has run for lostMinDuration. Chance is out of the question then.
+// A canary that gets less than lostMaxFraction of the requests that the baseline's rate would bring has lost its
+// clients: if those would be lostMinExpected at least, and it has run for lostMinDuration. Chance is out of the
+// question then.
 const (
 	lostMinExpected                 = 50
 	lostMaxFraction                 = 0.1
@@ -60,8 +61,8 @@
 // Result returns the present verdict and its statistics.
 func (a *Analysis) Result() (Verdict, Statistics) { return a.verdict, a.statistics }
 
-// AddCanary adds a sample of the canary, and returns the verdict with its statistics. A final verdict does not change any
-// more.
+// AddCanary adds a sample of the canary, and returns the verdict with its statistics. A final verdict does not change
+// any more.
 func (a *Analysis) AddCanary(sample Sample) (Verdict, Statistics) {
 	if a.verdict != Undecided {
 		return a.verdict, a.statistics
@@ -131,8 +132,8 @@
 	return certain && (severe || a.canary.duration >= a.settings.MinDuration)
 }
 
-// concludeOrExtend ends an analysis that has run for its required duration, or extends it if a result is not clear. harm
-// is the larger difference, which is not certain.
+// concludeOrExtend ends an analysis that has run for its required duration, or extends it if a result is not clear.
+// harm is the larger difference, which is not certain.
 func (a *Analysis) concludeOrExtend(harm float64) {
 	surged := a.calmDuration < a.requiredDuration/2
 	doubtful := a.baseline.requests > 0 && harm > a.settings.HarmMargin
@@ -180,8 +181,8 @@
 		return comparison{}
 	}
 	harm := sign * (tested.mean() - reference.mean())
-	// Slots without a failure show no variance, and one failed request proves nothing: the variance is never less than
-	// that of as many independent requests, of which one more has failed, and one more has not.
+	// Slots without a failure show no variance, and one failed request proves nothing: the variance is never less
+	// than that of as many independent requests, of which one more has failed, and one more has not.
 	requests := a.baseline.requests + a.canary.requests
 	pooled := (reference.mean()*a.baseline.requests + tested.mean()*a.canary.requests + 1) / (requests + 2)
 	pooled = min(max(pooled, 1/(requests+2)), 1-1/(requests+2))
--- a/internal/decide/canary/canary_test.go
+++ b/internal/decide/canary/canary_test.go
@@ -64,8 +64,8 @@
 	panic("unreachable")
 }
 
-// What is no worse is hardly ever found to be, however steady or unsteady service is, and however often it is looked at; what
-// does harm beyond the margin is found, the sooner the worse it is.
+// What is no worse is hardly ever found to be, however steady or unsteady service is, and however often it is looked
+// at; what does harm beyond the margin is found, the sooner the worse it is.
 func TestHarmIsFoundAndNoiseIsNot(t *testing.T) {
 	const trials = 400
 	for _, tc := range []struct {
@@ -118,8 +118,8 @@
 	}
 }
 
-// Less service while more is asked for proves nothing, and takes no blame; failures do all the same. A rush that passes is
-// waited for.
+// Less service while more is asked for proves nothing, and takes no blame; failures do all the same. A rush that
+// passes is waited for.
 func TestSurgeOfDemand(t *testing.T) {
 	s := testSettings
 	s.MaxExtensions = 2
@@ -171,8 +171,8 @@
 	}
 }
 
-// Whatever the samples, figures are numbers, there is a verdict once the time and its extensions are over and not before it
-// is known, and a difference within the margin is never worse.
+// Whatever the samples, figures are numbers, there is a verdict once the time and its extensions are over and not
+// before it is known, and a difference within the margin is never worse.
 func TestAnySamples(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := Settings{Duration: rapid.Int64Range(slot, 20*slot).Draw(t, "length"), HarmMargin: rapid.Float64Range(0, 0.5).Draw(t, "margin"),
--- a/internal/decide/canary/ratio.go
+++ b/internal/decide/canary/ratio.go
@@ -74,8 +74,8 @@
 	return r.numerator / r.denominator
 }
 
-// variance returns that of one observation's ratio: of the residuals numerator - mean·denominator, divided by the square
-// of the mean denominator (Cochran, "Sampling Techniques", 3rd ed., section 2.11).
+// variance returns that of one observation's ratio: of the residuals numerator - mean·denominator, divided by the
+// square of the mean denominator (Cochran, "Sampling Techniques", 3rd ed., section 2.11).
 func (r *ratioMoments) variance() float64 {
 	if r.count < 2 || r.denominator <= 0 {
 		return 0
@@ -86,12 +86,12 @@
 	return max(0, residuals/(r.count-1)/(meanDenominator*meanDenominator))
 }
 
-// rho tunes where the confidence sequence is tightest: at about (-log α² + log(-2 log α² + 1))/ρ² slots (Waudby-Smith et
-// al., section B.2). Here these are a few dozen.
+// rho tunes where the confidence sequence is tightest: at about (-log α² + log(-2 log α² + 1))/ρ² slots (Waudby-Smith
+// et al., section B.2). Here these are a few dozen.
 const rho = 0.3
 
-// confidenceHalfWidth returns the one-sided width of the confidence sequence after n slots, in standard deviations of one
-// slot.
+// confidenceHalfWidth returns the one-sided width of the confidence sequence after n slots, in standard deviations of
+// one slot.
 func confidenceHalfWidth(n, alpha float64) float64 {
 	if n < 2 {
 		return math.Inf(1)
--- a/internal/decide/canary/settings.go
+++ b/internal/decide/canary/settings.go
@@ -10,9 +10,9 @@
 type Settings struct {
 	Duration       monotime.Micros // a canary that is not found worse for so long has passed
 	MinDuration    monotime.Micros // before that a canary is found worse only if the harm is severe
-	HarmMargin     float64         // a difference of service or failures up to this is no harm, however certain; in [0, 1)
+	HarmMargin     float64         // a difference up to this is no harm, however certain; in [0, 1)
 	Alpha          float64         // probability that an equally good canary is ever found worse; in (0, 0.5)
-	MaxDemandRatio float64         // beyond this ratio to the baseline's request rate, less service proves nothing; 0 is 1.5
+	MaxDemandRatio float64         // to the baseline; beyond it less service proves nothing; 0 is 1.5
 	MaxExtensions  int             // how often an inconclusive analysis is extended by Duration
 }
 
--- a/internal/decide/canary/verdict.go
+++ b/internal/decide/canary/verdict.go
@@ -37,9 +37,9 @@
 	Service        [2]float64
 	Failures       [2]float64
 	RequestRate    [2]float64      // a second
-	Harm           float64         // the larger of the differences in service and failures; positive: the canary does worse
+	Harm           float64         // difference in Metric; positive: the canary does worse
 	HarmLowerBound float64         // of Harm, at all times, with probability 1 - Alpha
-	Metric         Metric          // that Harm is of
+	Metric         Metric          // the one with the more certain harm
 	Duration       monotime.Micros // of the canary
 	Requests       int64           // of the canary
 }
--- a/internal/decide/rollout/apply.go
+++ b/internal/decide/rollout/apply.go
@@ -6,8 +6,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// maxApplyAttempts is in how many processes a version is applied that ended before it was confirmed. One may have ended
-// for another reason; two are taken as the version's fault.
+// maxApplyAttempts is in how many processes a version is applied that ended before it was confirmed. One may have
+// ended for another reason; two are taken as the version's fault.
 const maxApplyAttempts = 2
 
 // HandleValidated takes the result of ActionValidate: reason says why the version is invalid, "" that it is valid.
--- a/internal/decide/rollout/doc.go
+++ b/internal/decide/rollout/doc.go
@@ -1,10 +1,10 @@
 // Package rollout decides which version of the configuration an instance runs: which of the versions offered by the
-// control plane (xDS management server) or read from the local file is validated, applied, rejected, confirmed or rolled
-// back.
+// control plane (xDS management server) or read from the local file is validated, applied, rejected, confirmed or
+// rolled back.
 //
 // StateMachine is deterministic and does no I/O: its host calls it with events and their instants, one at a time, and
-// executes the commands that it returns, in order. The package handles names and digests of versions only; it must not
-// import what reads, applies or transports their content.
+// executes the commands that it returns, in order. The package handles names and digests of versions only; it must
+// not import what reads, applies or transports their content.
 //
 // One version is processed at a time:
 //
@@ -16,7 +16,7 @@
 // burst of versions costs one validation each Settings.MinValidationInterval. A canary ends early only for a version
 // with the Rollback flag or one of the local file.
 //
-// A version is applied whole or not at all, and never after a newer one of its epoch unless it has the Rollback flag. A
-// version number stands for one content: another content under the same number is rejected. Numbers may restart in a new
-// epoch, when the control plane lost its counter; versions of an abandoned epoch are rejected.
+// A version is applied whole or not at all, and never after a newer one of its epoch unless it has the Rollback flag.
+// A version number stands for one content: another content under the same number is rejected. Numbers may restart in
+// a new epoch, when the control plane lost its counter; versions of an abandoned epoch are rejected.
 package rollout
--- a/internal/decide/rollout/persist.go
+++ b/internal/decide/rollout/persist.go
@@ -21,8 +21,8 @@
 	return []Command{{Action: ActionPersist}}
 }
 
-// HandlePersisted takes the result of ActionPersist: reason says why the state was not stored, "" that it was. A failure
-// is retried after a backoff with jitter; nothing else waits for it.
+// HandlePersisted takes the result of ActionPersist: reason says why the state was not stored, "" that it was. A
+// failure is retried after a backoff with jitter; nothing else waits for it.
 func (m *StateMachine) HandlePersisted(now monotime.Micros, reason string) []Command {
 	if !m.persisting {
 		return nil
--- a/internal/decide/rollout/rollback.go
+++ b/internal/decide/rollout/rollback.go
@@ -2,8 +2,8 @@
 
 import "dunlinsail/internal/monotime"
 
-// maxRollbackAttempts is how often a rollback is attempted. After that the rejected version keeps running until another
-// one is applied.
+// maxRollbackAttempts is how often a rollback is attempted. After that the rejected version keeps running until
+// another one is applied.
 const maxRollbackAttempts = 5
 
 // minRollbackBackoff is the least backoff after the first failed rollback.
@@ -26,8 +26,8 @@
 	return append(m.reject(*m.unconfirmed, reason, true), m.rollBack())
 }
 
-// HandleRolledBack takes the result of ActionRollBack: reason says why the rejected version still runs, "" that it does
-// not.
+// HandleRolledBack takes the result of ActionRollBack: reason says why the rejected version still runs, "" that it
+// does not.
 func (m *StateMachine) HandleRolledBack(now monotime.Micros, reason string) []Command {
 	if m.phase != PhaseRollingBack || m.rollbackRetryAt > 0 {
 		return nil
--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -188,8 +188,8 @@
 	s.expect("validate a/99", "apply a/99", "ack a/99 finally")
 }
 
-// During a trial a version waits, unless it is to go back to or the operator's; what comes to nothing lets the trial begin
-// anew.
+// During a trial a version waits, unless it is to go back to or the operator's; what comes to nothing lets the trial
+// begin anew.
 func TestOffersDuringCanary(t *testing.T) {
 	s := newDriver(t, true)
 	s.offer(fromControlPlane("a", 1))
@@ -306,8 +306,8 @@
 	}
 }
 
-// world is a host whose disk, service and contents are a test's: it carries out steps in order, as far and as well as chance
-// has it, and holds what a plain reading of the rules demands against each.
+// world is a host whose disk, service and contents are a test's: it carries out steps in order, as far and as well as
+// chance has it, and holds what a plain reading of the rules demands against each.
 type simulatedHost struct {
 	*rapid.T
 	machine       *StateMachine
@@ -468,8 +468,9 @@
 	w.harmful[v.Digest] = !sound && rapid.IntRange(0, 3).Draw(w.T, "harmful") == 0
 }
 
-// In whatever order versions come, twice, late, or not at all, whatever fails and whenever the process ends: the rules hold
-// at each step, and once a sound version comes to an instance that nothing befalls any more, that one runs and is kept.
+// In whatever order versions come, twice, late, or not at all, whatever fails and whenever the process ends: the
+// rules hold at each step, and once a sound version comes to an instance that nothing befalls any more, that one runs
+// and is kept.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulatedHost{T: t, settings: Settings{CanaryEnabled: rapid.Bool().Draw(t, "trial"), MinValidationInterval: rapid.Int64Range(0, 3*second).Draw(t, "gap")}, now: second, epoch: "a",
--- a/internal/xdsclient/control_test.go
+++ b/internal/xdsclient/client_test.go
@@ -35,30 +35,30 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// following is a client under test.
-type following struct {
+// testClient is a client under test.
+type testClient struct {
 	*xdsclient.Client
-	mu  sync.Mutex
-	got []xdsclient.Update
+	mu       sync.Mutex
+	received []xdsclient.Update
 }
 
-func (f *following) updates() []xdsclient.Update {
+func (f *testClient) updates() []xdsclient.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]xdsclient.Update(nil), f.got...)
+	return append([]xdsclient.Update(nil), f.received...)
 }
 
 func settings(addr string) config.Control {
 	return config.Control{Address: addr, Plaintext: true, SizeMost: stricttoml.Size{Bytes: 1 << 20}, RetryMost: stricttoml.Duration{Duration: 100 * time.Millisecond}}
 }
 
-func follow(t *testing.T, c config.Control, running *rollout.ID) *following {
+func startClient(t *testing.T, c config.Control, running *rollout.ID) *testClient {
 	t.Helper()
-	f := &following{}
+	f := &testClient{}
 	client, err := xdsclient.New(xdsclient.Options{Settings: c, InstanceName: "i-1", Zone: "a", Applied: running, Log: scriptedpeer.Quiet, OnUpdate: func(u xdsclient.Update) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.got = append(f.got, u)
+		f.received = append(f.received, u)
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -77,7 +77,7 @@
 	return f
 }
 
-func begin(t *testing.T, o xdsserver.Options) *xdsserver.Server {
+func startServer(t *testing.T, o xdsserver.Options) *xdsserver.Server {
 	t.Helper()
 	s, err := xdsserver.Start(o)
 	if err != nil {
@@ -92,12 +92,12 @@
 }
 
 // A version arrives as it was sent, and what is said of it reaches the service with its nonce.
-func TestSentAndAnswered(t *testing.T) {
-	s := begin(t, xdsserver.Options{})
+func TestUpdateAndAnswers(t *testing.T) {
+	s := startServer(t, xdsserver.Options{})
 	if err := s.SetResources("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
 		t.Fatal(err)
 	}
-	f := follow(t, settings(s.Address), &rollout.ID{Epoch: "e", Number: 6})
+	f := startClient(t, settings(s.Address), &rollout.ID{Epoch: "e", Number: 6})
 	scriptedpeer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
 	u := f.updates()[0]
 	if u.DecodeError != "" || u.Version.ID != (rollout.ID{Source: rollout.SourceControlPlane, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
@@ -120,9 +120,9 @@
 }
 
 // What makes no sense is refused with its reason, and the next version comes all the same.
-func TestWhatMakesNoSense(t *testing.T) {
-	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Address), nil)
+func TestInvalidResponses(t *testing.T) {
+	s := startServer(t, xdsserver.Options{})
+	f := startClient(t, settings(s.Address), nil)
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
 	sound, err := xdsserver.NewResponse("1", []config.Resource{class("look", 1)}, nil)
 	if err != nil {
@@ -185,8 +185,8 @@
 }
 
 // A version over the bound is not read; the stream is asked for again, and what is sent then arrives.
-func TestTooLarge(t *testing.T) {
-	s := begin(t, xdsserver.Options{})
+func TestResponseTooLarge(t *testing.T) {
+	s := startServer(t, xdsserver.Options{})
 	var many []config.Resource
 	for i := range 20_000 {
 		many = append(many, class(fmt.Sprint("c", i), 1))
@@ -194,7 +194,7 @@
 	if err := s.SetResources("1", many, nil); err != nil {
 		t.Fatal(err)
 	}
-	f := follow(t, settings(s.Address), nil)
+	f := startClient(t, settings(s.Address), nil)
 	scriptedpeer.Eventually(t, "asked again", func() bool { return s.StreamsOpened() >= 3 })
 	if len(f.updates()) > 0 {
 		t.Error("it was taken")
@@ -205,11 +205,11 @@
 	scriptedpeer.Eventually(t, "the next", func() bool { return len(f.updates()) > 0 })
 }
 
-// A service that vanishes, at whatever byte of what it sends, is asked again; what arrives is whole, and begins with what
-// runs by then.
-func TestVanishes(t *testing.T) {
-	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Address), nil)
+// A service that vanishes, at whatever byte of what it sends, is asked again; what arrives is whole, and begins with
+// what runs by then.
+func TestServerVanishes(t *testing.T) {
+	s := startServer(t, xdsserver.Options{})
+	f := startClient(t, settings(s.Address), nil)
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
 	all := []config.Resource{class("look", 1), class("book", 2)}
 	for n, cut := range []int64{0, 1, 9, 10, 40, 100, 200, 300} {
@@ -239,7 +239,7 @@
 	addr := s.Address
 	s.Close()
 	f.Nack(rollout.ID{Number: 8}, "late", nil)
-	again := begin(t, xdsserver.Options{Address: addr})
+	again := startServer(t, xdsserver.Options{Address: addr})
 	if err := again.SetResources("9", all, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -249,7 +249,7 @@
 	}
 }
 
-func (f *following) has(number int) bool {
+func (f *testClient) has(number int) bool {
 	for _, u := range f.updates() {
 		if u.Version.Number == uint64(number) {
 			return true
@@ -265,9 +265,9 @@
 }
 
 // A service that never stops sending is read at a bounded pace, and costs no more memory than what is under way.
-func TestNeverStops(t *testing.T) {
-	s := begin(t, xdsserver.Options{})
-	f := follow(t, settings(s.Address), nil)
+func TestServerNeverStopsSending(t *testing.T) {
+	s := startServer(t, xdsserver.Options{})
+	f := startClient(t, settings(s.Address), nil)
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() == 1 })
 	for n := range 1000 {
 		r, err := xdsserver.NewResponse(fmt.Sprint(n+1), []config.Resource{class("look", 1)}, nil)
@@ -351,10 +351,11 @@
 	return credentials.NewTLS(&tls.Config{Certificates: []tls.Certificate{own}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert})
 }
 
-// Both sides must show a certificate that the other's authority has signed, and the service the name that is expected.
+// Both sides must show a certificate that the other's authority has signed, and the service the name that is
+// expected.
 func TestMutualTLS(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	s := begin(t, xdsserver.Options{Credentials: ours.server(t)})
+	s := startServer(t, xdsserver.Options{Credentials: ours.server(t)})
 	if err := s.SetResources("1", []config.Resource{class("look", 1)}, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -365,14 +366,14 @@
 		c.Cert, c.Key = own.issue(t, "instance")
 		return c
 	}
-	good := follow(t, with(ours, ours, ""), nil)
+	good := startClient(t, with(ours, ours, ""), nil)
 	for what, c := range map[string]config.Control{
 		"an authority that is not the service's": with(theirs, ours, ""),
 		"a certificate of another authority":     with(ours, theirs, ""),
 		"another name":                           with(ours, ours, "somebody"),
 		"no TLS":                                 settings(s.Address),
 	} {
-		f := follow(t, c, nil)
+		f := startClient(t, c, nil)
 		defer func() {
 			if len(f.updates()) > 0 {
 				t.Errorf("%s: versions came", what)
--- a/internal/xdsclient/decode.go
+++ b/internal/xdsclient/decode.go
@@ -3,143 +3,127 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 
-	"github.com/cncf/xds/go/xds/type/v3"
+	typed "github.com/cncf/xds/go/xds/type/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
 )
 
-// TypeURL is the type of all resources: a table of the configuration without a type of its own in protobuf, as xDS has it
-// for what extends it. One type for all, since xDS promises that a version is whole within a type only.
+// TypeURL is the type_url of all resources: TypedStruct, as xDS has it for extensions without a protobuf type of
+// their own. All kinds share one type, since xDS guarantees a consistent version within one type only.
 const TypeURL = "type.googleapis.com/xds.type.v3.TypedStruct"
 
-// KindPrefix goes before a resource's kind in its TypedStruct's type_url.
+// KindPrefix precedes a resource's kind in the type_url of its TypedStruct.
 const KindPrefix = "type.googleapis.com/dunlinsail.config.v1."
 
-// releaseKind is of the one resource that says something of the version itself.
+// releaseKind is the kind of the one resource that describes the version itself.
 const releaseKind = "release"
 
-// epochMost is how long an epoch's name may be.
-const maxEpochLength = 64
+// nameField is the field of a resource that holds its name.
+const nameField = "name"
 
-// ParseVersion reads a version_info: "17", or "epoch/17" where numbers may begin anew.
-func ParseVersionInfo(text string) (rollout.ID, error) {
-	epoch, number := "", text
-	if i := strings.LastIndexByte(text, '/'); i >= 0 {
-		if epoch, number = text[:i], text[i+1:]; epoch == "" {
-			return rollout.ID{}, fmt.Errorf("version_info %q: the epoch before / is empty", text)
-		}
-	}
-	n, err := strconv.ParseUint(number, 10, 64)
-	if err != nil || strconv.FormatUint(n, 10) != number {
-		return rollout.ID{}, fmt.Errorf("version_info %q is neither NUMBER nor EPOCH/NUMBER", truncate(text))
-	}
-	if len(epoch) > maxEpochLength || strings.ContainsFunc(epoch, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return rollout.ID{}, fmt.Errorf("version_info %q: an epoch is at most %d visible ASCII characters", truncate(text), maxEpochLength)
-	}
-	return rollout.ID{Source: rollout.SourceControlPlane, Epoch: epoch, Number: n}, nil
-}
-
-// VersionInfo is what ParseVersion reads.
-func FormatVersionInfo(id rollout.ID) string {
-	if id.Epoch == "" {
-		return strconv.FormatUint(id.Number, 10)
-	}
-	return id.Epoch + "/" + strconv.FormatUint(id.Number, 10)
-}
-
-func truncate(text string) string {
-	if len(text) > 80 {
-		return text[:80] + "..."
-	}
-	return text
-}
-
-// Update is a version as the service sent it.
+// Update is a version as the control plane sent it.
 type Update struct {
 	Version     rollout.Version
 	Resources   []config.Resource
-	DecodeError string // why it cannot be read; Resources is nil then
+	DecodeError string // why the content cannot be decoded; Resources is nil then
 }
 
-// decode reads a response, or returns the error of one whose version is not known.
-func decode(r *discovery.DiscoveryResponse) (*Update, error) {
-	if r.GetTypeUrl() != TypeURL {
-		return nil, fmt.Errorf("type_url %q was not asked for", truncate(r.GetTypeUrl()))
+// decode returns the update in a response, or the error of a response whose version is unknown.
+func decode(response *discovery.DiscoveryResponse) (*Update, error) {
+	if response.GetTypeUrl() != TypeURL {
+		return nil, fmt.Errorf("type_url %q was not asked for", truncate(response.GetTypeUrl()))
 	}
-	id, err := ParseVersionInfo(r.GetVersionInfo())
+	id, err := ParseVersionInfo(response.GetVersionInfo())
 	if err != nil {
 		return nil, err
 	}
-	u := &Update{Version: rollout.Version{ID: id}}
-	if err := u.decodeResources(r); err != nil {
-		u.DecodeError, u.Resources = err.Error(), nil
-		// What makes no sense has a digest, too: the same number may come with another content.
-		h := sha256.New()
-		for _, x := range r.GetResources() {
-			h.Write(x.GetValue())
-		}
-		u.Version.Digest = hex.EncodeToString(h.Sum(nil))
-		return u, nil
+	update := &Update{Version: rollout.Version{ID: id}}
+	if err := update.decodeResources(response); err != nil {
+		update.DecodeError = err.Error()
+		update.Resources = nil
+		update.Version.Digest = rawDigest(response)
+		return update, nil
 	}
-	u.Version.Digest = config.Digest(u.Resources)
-	return u, nil
+	update.Version.Digest = config.Digest(update.Resources)
+	return update, nil
 }
 
-func (u *Update) decodeResources(r *discovery.DiscoveryResponse) error {
-	for i, x := range r.GetResources() {
-		var s v3.TypedStruct
-		if x.GetTypeUrl() != TypeURL {
-			return fmt.Errorf("resource %d: type_url %q is not %s", i, truncate(x.GetTypeUrl()), TypeURL)
-		}
-		if err := proto.Unmarshal(x.GetValue(), &s); err != nil {
+// rawDigest returns a digest of resources that cannot be decoded: another content may come under the same number.
+func rawDigest(response *discovery.DiscoveryResponse) string {
+	hash := sha256.New()
+	for _, resource := range response.GetResources() {
+		hash.Write(resource.GetValue())
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (u *Update) decodeResources(response *discovery.DiscoveryResponse) error {
+	for i, packed := range response.GetResources() {
+		kind, fields, err := unpack(packed)
+		if err != nil {
 			return fmt.Errorf("resource %d: %w", i, err)
 		}
-		kind, ok := strings.CutPrefix(s.GetTypeUrl(), KindPrefix)
-		if !ok {
-			return fmt.Errorf("resource %d: type_url %q does not begin with %s", i, truncate(s.GetTypeUrl()), KindPrefix)
-		}
-		fields := s.GetValue().AsMap()
-		if fields == nil {
-			fields = map[string]any{}
-		}
 		if kind == releaseKind {
 			if err := u.decodeRelease(fields); err != nil {
 				return err
 			}
 			continue
 		}
-		res := config.Resource{Kind: kind, Fields: fields}
-		if name, has := fields["name"]; has {
-			if res.Name, ok = name.(string); !ok {
+		resource := config.Resource{Kind: kind, Fields: fields}
+		if name, hasName := fields[nameField]; hasName {
+			text, isText := name.(string)
+			if !isText {
 				return fmt.Errorf("resource %d: %s: its name is no text", i, truncate(kind))
 			}
-			delete(fields, "name")
+			resource.Name = text
+			delete(fields, nameField)
 		}
-		u.Resources = append(u.Resources, res)
+		u.Resources = append(u.Resources, resource)
 	}
 	if len(u.Resources) == 0 {
-		return fmt.Errorf("no resource is in it: that is what a service says that has lost its own")
+		return errors.New("no resource is in it: that is what a service says that has lost its own")
 	}
 	return config.CheckResources(u.Resources)
 }
 
-// release reads what is said of the version itself.
+// unpack returns a resource's kind and fields.
+func unpack(packed *anypb.Any) (kind string, fields map[string]any, err error) {
+	if packed.GetTypeUrl() != TypeURL {
+		return "", nil, fmt.Errorf("type_url %q is not %s", truncate(packed.GetTypeUrl()), TypeURL)
+	}
+	var resource typed.TypedStruct
+	if err := proto.Unmarshal(packed.GetValue(), &resource); err != nil {
+		return "", nil, err
+	}
+	kind, hasPrefix := strings.CutPrefix(resource.GetTypeUrl(), KindPrefix)
+	if !hasPrefix {
+		return "", nil, fmt.Errorf("type_url %q does not begin with %s", truncate(resource.GetTypeUrl()), KindPrefix)
+	}
+	fields = resource.GetValue().AsMap()
+	if fields == nil {
+		fields = map[string]any{}
+	}
+	return kind, fields, nil
+}
+
+// decodeRelease reads what a release resource says about the version.
 func (u *Update) decodeRelease(fields map[string]any) error {
-	for key, v := range fields {
+	for key, value := range fields {
 		switch key {
 		case "rollback":
-			on, ok := v.(bool)
-			if !ok {
-				return fmt.Errorf("release: rollback: %v is neither true nor false", v)
+			rollback, isBool := value.(bool)
+			if !isBool {
+				return fmt.Errorf("release: rollback: %v is neither true nor false", value)
 			}
-			u.Version.Rollback = on
+			u.Version.Rollback = rollback
 		case "about": // for people
 		default:
 			return fmt.Errorf("release: %s: is not a known key", truncate(key))
--- a/internal/xdsclient/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -99,7 +99,7 @@
 // version on trial, an ACK of a confirmed one, a NACK after a rollback, and a NACK of an unreadable version_info.
 func TestGoldenExchange(t *testing.T) {
 	server, address := startRecordingServer(t)
-	client := follow(t, settings(address), &rollout.ID{Epoch: "e", Number: 6})
+	client := startClient(t, settings(address), &rollout.ID{Epoch: "e", Number: 6})
 	var requests []*discovery.DiscoveryRequest
 	receive := func(what string) { requests = append(requests, scriptedpeer.Within(t, server.requests, what)) }
 	receive("the first request")
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -17,7 +17,8 @@
 	"dunlinsail/internal/xdsclient"
 )
 
-// A control plane that is built on go-control-plane, as many are, is understood as it comes, and understands the answers.
+// A control plane that is built on go-control-plane, as many are, is understood as it comes, and understands the
+// answers.
 func TestWithGoControlPlane(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,7 +46,7 @@
 		all.SetResources(map[string]types.Resource{"class/look": &typed.TypedStruct{TypeUrl: xdsclient.KindPrefix + "class", Value: value}})
 	}
 	set(1)
-	f := follow(t, settings(ln.Addr().String()), nil)
+	f := startClient(t, settings(ln.Addr().String()), nil)
 	scriptedpeer.Eventually(t, "a version", func() bool { return len(f.updates()) == 1 })
 	one := f.updates()[0]
 	if one.DecodeError != "" || one.Version.Epoch != "plane" || one.Resources[0].ID() != "class/look" {
