Name what a first reader of maintenance and consensus would guess wrong

Node.Follower read as a follower of raft: PlanFollower. Follower.Apply takes a grant, unlike State.Apply: ApplyGrant. Settings.Check is Validate as in the other decision packages. config's Settles and peers' Settle and TellSettle were named by the package's old name. go test ./internal/peers ./internal/config ./internal/consensus ./internal/decide/maintenance: ok.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -320,8 +320,8 @@
 	Quiet stricttoml.Duration `toml:"quiet"`
 }
 
-// Settles returns the settings by which the order is settled; nil is that it is not.
-func (c *Config) Settles() *consensus.Settings {
+// Consensus returns the settings by which the maintenance plan is replicated; nil is that it is not.
+func (c *Config) Consensus() *consensus.Settings {
 	w := &c.Work
 	if !w.On {
 		return nil
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -260,7 +260,7 @@
 
 // sendRequest has an instance send a request to a machine where its follower lets it, and end what has to end.
 func (c *cluster) sendRequest(p *instance) {
-	follower := p.node.Follower()
+	follower := p.node.PlanFollower()
 	now := p.clock(c.now)
 	excluded := follower.ExcludedMachines(now)
 	if follower.MustEndInFlight(now) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -109,8 +109,8 @@
 	n.inFlight = inFlight
 }
 
-// Follower returns what this instance has to apply of the plan.
-func (n *Node) Follower() *maintenance.Follower { return n.follower }
+// PlanFollower returns what this instance has to apply of the plan.
+func (n *Node) PlanFollower() *maintenance.Follower { return n.follower }
 
 // State returns the plan as far as this voter has applied the log. It must not be changed.
 func (n *Node) State() *maintenance.State { return n.state }
@@ -171,7 +171,7 @@
 	case m.Report != nil:
 		n.handleReport(now, from, *m.Report)
 	case m.Grant != nil:
-		n.follower.Apply(now, *m.Grant)
+		n.follower.ApplyGrant(now, *m.Grant)
 		n.leader = from
 		n.unansweredReports = 0
 	case m.Leader != "":
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -50,9 +50,9 @@
 	c.run(3e6)
 	c.start(lost)
 	c.run(4e6)
-	if !lost.node.LogMissing() || !lost.node.Follower().HasPlan() {
+	if !lost.node.LogMissing() || !lost.node.PlanFollower().HasPlan() {
 		t.Errorf("a voter that has lost its log: missing %v, has a plan %v",
-			lost.node.LogMissing(), lost.node.Follower().HasPlan())
+			lost.node.LogMissing(), lost.node.PlanFollower().HasPlan())
 	}
 	if c.furthest.node.State().Requests["night"] == nil {
 		t.Fatal("what was committed is lost")
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -45,7 +45,7 @@
 	}
 	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.ReceiveFleetMessage}
 	if x := d.settling; x != nil {
-		o.Settle = x.hear
+		o.HandleConsensus = x.hear
 	}
 	var p *peers.Peers
 	var err error
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -44,7 +44,7 @@
 
 // settles begins it, where the configuration says so. From then on nothing goes anywhere until an order has been heard.
 func (d *generation) settles() error {
-	s := d.config.Settles()
+	s := d.config.Consensus()
 	if s == nil || d.settling != nil {
 		return nil
 	}
@@ -70,7 +70,7 @@
 	x.obeyed = engine.MaintenancePlan{AwaitingPlan: true}
 	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
 		x.obeyed = *o
-		node.Follower().Inherit(maintenance.Plan{Excluded: o.Stopped, Announced: o.Announced}, o.LeaseEnd)
+		node.PlanFollower().Inherit(maintenance.Plan{Excluded: o.Stopped, Announced: o.Announced}, o.LeaseEnd)
 	}
 	d.core.ApplyMaintenancePlan(x.obeyed)
 	var ctx context.Context
@@ -127,7 +127,7 @@
 
 // stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
 func (x *settling) stand(now clock.Micros64) {
-	order, _, _ := x.node.Follower().CurrentPlan()
+	order, _, _ := x.node.PlanFollower().CurrentPlan()
 	names := append(append([]string(nil), order.Excluded...), order.Announced...)
 	if len(names) == 0 && now < x.factsAt+lookEvery {
 		return
@@ -149,11 +149,11 @@
 	p := x.d.peers.Load()
 	for _, o := range x.node.TakeOutgoing() {
 		if p != nil {
-			p.TellSettle(o.To, o.Message)
+			p.SendConsensus(o.To, o.Message)
 		}
 	}
-	order, until, end := x.node.Follower().CurrentPlan()
-	o := engine.MaintenancePlan{AwaitingPlan: !x.node.Follower().HasPlan(), Stopped: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
+	order, until, end := x.node.PlanFollower().CurrentPlan()
+	o := engine.MaintenancePlan{AwaitingPlan: !x.node.PlanFollower().HasPlan(), Stopped: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
 	if fmt.Sprint(o) != fmt.Sprint(x.obeyed) {
 		if fmt.Sprint(o.Stopped) != fmt.Sprint(x.obeyed.Stopped) {
 			x.d.log.Info("machines out for work", "out", o.Stopped, "next in line", o.Announced)
@@ -167,7 +167,7 @@
 			delete(x.waiting, number)
 		}
 	}
-	if x.node.LogMissing() && x.node.Follower().HasPlan() && !x.warned {
+	if x.node.LogMissing() && x.node.PlanFollower().HasPlan() && !x.warned {
 		x.warned = true
 		x.d.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
 	}
--- a/internal/decide/maintenance/follower.go
+++ b/internal/decide/maintenance/follower.go
@@ -44,7 +44,7 @@
 // NewFollower returns the follower of a process that has received no plan yet, or a *SettingError. Until HasPlan it
 // must send nothing to any machine.
 func NewFollower(s Settings, incarnation uint64) (*Follower, error) {
-	if err := s.Check(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	return &Follower{settings: s, incarnation: incarnation}, nil
@@ -80,9 +80,9 @@
 	return &f.sentReports[sequence%rememberedReports]
 }
 
-// Apply applies a grant and reports whether ExcludedMachines or the plan may be others than before. It drops grants
-// that are late, come twice, or answer another process or an older plan than the one that is applied.
-func (f *Follower) Apply(now monotime.Micros, grant PlanGrant) (changed bool) {
+// ApplyGrant applies a grant and reports whether ExcludedMachines or the plan may be others than before. It drops
+// grants that are late, come twice, or answer another process or an older plan than the one that is applied.
+func (f *Follower) ApplyGrant(now monotime.Micros, grant PlanGrant) (changed bool) {
 	report := *f.sentReport(grant.Sequence)
 	if grant.Incarnation != f.incarnation || report.sequence != grant.Sequence || grant.Sequence == 0 {
 		return false
--- a/internal/decide/maintenance/settings.go
+++ b/internal/decide/maintenance/settings.go
@@ -7,7 +7,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// The bounds that Settings.Check sets.
+// The bounds that Settings.Validate sets.
 const (
 	minLeaseDuration monotime.Micros = 10_000
 	largestDrift                     = 0.1
@@ -36,8 +36,8 @@
 // Error returns the setting and the reason.
 func (e *SettingError) Error() string { return fmt.Sprintf("work: %s: %s", e.Key, e.Reason) }
 
-// Check returns a *SettingError for the first setting that is out of its range.
-func (s *Settings) Check() error {
+// Validate returns a *SettingError for the first setting that is out of its range.
+func (s *Settings) Validate() error {
 	switch {
 	case s.MaxOut < 1:
 		return &SettingError{"most", "must be at least 1"}
--- a/internal/decide/maintenance/state.go
+++ b/internal/decide/maintenance/state.go
@@ -30,7 +30,7 @@
 
 // NewState returns a plan in which no machine is out, or a *SettingError.
 func NewState(s Settings) (*State, error) {
-	if err := s.Check(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	return &State{
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -57,7 +57,7 @@
 			Grant: grant, All: all},
 	}
 	envelopes := map[string]envelope{
-		"consensus": {From: "instance-1", To: "instance-2", Settle: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
+		"consensus": {From: "instance-1", To: "instance-2", Consensus: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
 	}
 	for name, w := range words {
 		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Word: w}
@@ -90,7 +90,7 @@
 			if want := readGolden(t, filepath.Join("messages", name+".cbor")); !bytes.Equal(encoded, want) {
 				t.Errorf("encoded as %x, want %x", encoded, want)
 			}
-			if e.Settle != nil {
+			if e.Consensus != nil {
 				return
 			}
 			encoded, err = Encode(e.From, e.To, e.Word)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,8 +32,8 @@
 	Via     map[string]string // where an address is reached from here, if not there
 	Log     *slog.Logger
 	Hear    func(from string, w coordination.Word) // is called with one word at a time; may wait
-	// Settle is the same for words by which instances settle in which order machines go out; nil is that this one takes no part.
-	Settle func(from string, w consensus.Message)
+	// HandleConsensus is the same for messages of package consensus; nil is that this instance takes no part in it.
+	HandleConsensus func(from string, w consensus.Message)
 }
 
 // Member is an instance, as far as is known here.
@@ -65,13 +65,13 @@
 	To   string            `cbor:"2,keyasint"`
 	Word coordination.Word `cbor:"3,keyasint"`
 
-	Settle *consensus.Message `cbor:"4,keyasint,omitempty"`
+	Consensus *consensus.Message `cbor:"4,keyasint,omitempty"`
 }
 
 type outgoing struct {
-	to     string
-	word   coordination.Word
-	settle *consensus.Message
+	to        string
+	word      coordination.Word
+	consensus *consensus.Message
 }
 
 const (
@@ -150,8 +150,8 @@
 // Tell sends a word to an instance by its name. It never waits; whether it comes is not known.
 func (p *Peers) Tell(to string, w coordination.Word) { p.put(outgoing{to: to, word: w}) }
 
-// TellSettle is as Tell, with a word by which instances settle an order.
-func (p *Peers) TellSettle(to string, w consensus.Message) { p.put(outgoing{to: to, settle: &w}) }
+// SendConsensus sends a message of package consensus to an instance.
+func (p *Peers) SendConsensus(to string, w consensus.Message) { p.put(outgoing{to: to, consensus: &w}) }
 
 func (p *Peers) put(o outgoing) {
 	select {
@@ -192,10 +192,10 @@
 		select {
 		case e := <-p.in:
 			switch {
-			case e.Settle == nil:
+			case e.Consensus == nil:
 				p.o.Hear(e.From, e.Word)
-			case p.o.Settle != nil:
-				p.o.Settle(e.From, *e.Settle)
+			case p.o.HandleConsensus != nil:
+				p.o.HandleConsensus(e.From, *e.Consensus)
 			}
 		case <-p.over:
 			return
@@ -233,7 +233,7 @@
 		p.dropped.Add(1)
 		return
 	}
-	text, err := encoding.Marshal(envelope{p.o.Name, o.to, o.word, o.settle})
+	text, err := encoding.Marshal(envelope{p.o.Name, o.to, o.word, o.consensus})
 	if err != nil {
 		p.o.Log.Error("a word that has no form", "error", err)
 		return
