--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -9,62 +9,74 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Attempt makes one attempt of a request and waits for its end, on a goroutine of its own. When ctx ends, the attempt
-// is withdrawn.
-type AttemptFunc func(ctx context.Context, t *AttemptContext) engine.AttemptResult
+// AttemptFunc makes one attempt of a request and waits for its end, on a goroutine of its own. When ctx ends, the
+// attempt is aborted.
+type AttemptFunc func(ctx context.Context, a *AttemptContext) engine.AttemptResult
 
-// Try is what an Attempt is told.
+// AttemptContext is what an AttemptFunc needs to know of its attempt, and how it reports progress.
 type AttemptContext struct {
 	Target   Target
 	Deadline monotime.Micros
 
-	// MayGo is asked last, right before the first byte; if it says no, nothing goes out and the reply is Moot.
+	// ClaimSend must be called last, right before the first byte is written. If it returns false, nothing may be
+	// written, and the result's status is balancer.Moot.
 	ClaimSend func(now monotime.Micros) bool
 
-	// Hold is told how to end the sending at once, without waiting, before MayGo is asked; if it says no the attempt has been
-	// withdrawn. LetGo is told once nothing is sent or read any more, and says whether the sending was not ended: only then may
-	// what it was sent on be used again. nil is nobody who withdraws.
-	OnAbort     func(end func()) bool
+	// OnAbort sets how to end the sending at once, without blocking. It must be called before ClaimSend; if it returns
+	// false, the attempt has been aborted already. nil is an attempt that nobody aborts.
+	OnAbort func(abort func()) bool
+	// ReleaseConn must be called once nothing is written or read any more. It reports whether the sending was not ended
+	// by an abort: only then may the connection be reused.
 	ReleaseConn func() bool
 
-	// Began is asked when an answer has begun that is too large to be held (engine.Engine.Began).
+	// ResponseStarted reports that a response has started that is too large to be buffered (engine.ResponseStarted).
 	ResponseStarted func(r engine.AttemptResult) bool
 
-	// Heard tells that an answer that is held comes, if slowly (engine.Engine.Heard).
+	// ResponseProgress reports that a buffered response is arriving, if slowly (engine.ResponseProgress).
 	ResponseProgress func()
 }
 
-// Call is a client's request on its way through the core.
+// Call is a client's request on its way through the core. Its fields are set before Core.Submit.
 type Call struct {
-	Client        *engine.Client
-	Pool          *Pool            // whose endpoints it may go to
-	ID            string           // the client's
-	Request       balancer.Request // but for the ID, which the engine gives
-	ArrivedAt     monotime.Micros  // when the request was whole
-	Attempt       AttemptFunc
-	Response      chan engine.Response // has room for one; the one final answer comes here
-	NotReplayable func() bool          // as engine.Call has it
+	Client    *engine.Client
+	Pool      *Pool            // the pool of endpoints that may serve it
+	ID        string           // the client's ID of the request, unique among its open requests
+	Request   balancer.Request // the engine sets its ID
+	ArrivedAt monotime.Micros  // when the request was received completely
+	Attempt   AttemptFunc
+
+	// Response receives the one final response. It needs a buffer of one.
+	Response chan engine.Response
+	// NotReplayable is as in engine.Call.
+	NotReplayable func() bool
 
 	call engine.Call
 }
 
-// Submit takes a client's request; the one final answer comes on c.Answer.
+// Submit accepts a client's request. Its final response comes on c.Response.
 func (x *Core) Submit(c *Call) {
-	c.call = engine.Call{Client: c.Client, Pool: c.Pool.pool, ID: c.ID, Request: c.Request, ArrivedAt: c.ArrivedAt, HostData: c, NotReplayable: c.NotReplayable}
+	c.call = engine.Call{
+		Client:        c.Client,
+		Pool:          c.Pool.pool,
+		ID:            c.ID,
+		Request:       c.Request,
+		ArrivedAt:     c.ArrivedAt,
+		HostData:      c,
+		NotReplayable: c.NotReplayable,
+	}
 	x.post(func(now monotime.Micros) { x.engine.Submit(now, &c.call) })
 }
 
-// Leave tells that the client of a request has gone, and that nobody will take its answer if it has come meanwhile.
+// ClientGone reports that the client of a request is gone, and that nobody reads its response if there is one already.
 func (x *Core) ClientGone(c *Call) {
 	x.post(func(now monotime.Micros) { x.engine.ClientGone(now, &c.call) })
 }
 
-// ChangeClient gives a client another spec, or returns the error of one that makes no sense; what it has open stays
-// open.
-func (x *Core) SetClientSpec(c *engine.Client, s fairqueue.ClientSpec) error {
-	if err := s.Validate(); err != nil {
+// SetClientSpec changes a client's spec, or returns an error if that is invalid. Open requests are not affected.
+func (x *Core) SetClientSpec(c *engine.Client, spec fairqueue.ClientSpec) error {
+	if err := spec.Validate(); err != nil {
 		return err
 	}
-	x.post(func(monotime.Micros) { c.SetSpec(s) }) // its only error is that of Validate
+	x.post(func(monotime.Micros) { _ = c.SetSpec(spec) }) // its only error is that of Validate
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,60 +13,80 @@
 	"dunlinsail/internal/siteconfig"
 )
 
-// Upstream makes targets of addresses. Its methods must not wait.
+// Upstream makes targets for addresses. Its methods must not block.
 type Upstream interface {
 	Target(addr string) Target
 }
 
-// Target is where one endpoint listens, as whoever talks to endpoints knows it.
+// Target is the address of one endpoint, as the package that talks to endpoints has it.
 type Target interface {
 	engine.Target
 
-	// Probe asks for the endpoint's load, in a time of its own.
+	// Probe requests the endpoint's load report, and returns within a bounded time.
 	Probe() engine.AttemptResult
-	// Silent tells that an attempt that began at an instant was not answered in its time.
-	AttemptTimedOut(since time.Time)
+	// AttemptTimedOut reports that an attempt that started at an instant was not answered before its deadline.
+	AttemptTimedOut(startedAt time.Time)
 }
 
 // Config is what a Core needs.
 type Config struct {
 	Clock       clock.Clock
 	Site        *siteconfig.Site
-	Seed        uint64
+	Seed        uint64 // of all random draws
 	Concurrency engine.ConcurrencySettings
 	Upstream    Upstream
 	Log         *slog.Logger
-	Observer    engine.Observer // nil is nobody
+	Observer    engine.Observer // nil is none
 
-	OnQuotaSpent func(now monotime.Micros, budget string) // as engine.Config has it
+	// OnQuotaSpent is as in engine.Config.
+	OnQuotaSpent func(now monotime.Micros, budget string)
 }
 
-// Core runs an engine. Make one with New, give it pools, and run it. The engine belongs to the goroutine in Run; all
-// else goes through post.
+// eventQueueLength is how many events may wait for the core before posting another one blocks.
+const eventQueueLength = 256
+
+// event is a change of the engine's state. Only the goroutine of Run calls it.
+type event func(now monotime.Micros)
+
+// Core runs an engine. Make one with New, add pools, and call Run. The engine belongs to the goroutine of Run: all
+// methods pass it events, and are safe for concurrent use unless they say otherwise.
 type Core struct {
 	config       Config
 	engine       *engine.Engine
-	events       chan func(now monotime.Micros)
-	stopped      chan struct{} // closed once the core takes no more events
-	ready        atomic.Bool   // an endpoint is known to serve
+	events       chan event
+	stopped      chan struct{} // closed once no event is handled any more
+	ready        atomic.Bool   // an endpoint was ready
 	readySignal  chan struct{} // closed from then on
-	awaitingPlan atomic.Bool   // an order is waited for: nothing goes anywhere
+	awaitingPlan atomic.Bool   // no maintenance plan is known yet: nothing is sent to any endpoint
 
 	mu            sync.Mutex
-	pendingStarts []func(now monotime.Micros) // of new pools; they go before any event that follows them
+	pendingStarts []event // of new pools; they are handled before all events that follow them
 }
 
 // New returns a core without pools.
 func New(c Config) *Core {
-	x := &Core{config: c, events: make(chan func(monotime.Micros), 256), stopped: make(chan struct{}), readySignal: make(chan struct{})}
-	x.engine = engine.New(engine.Config{Site: c.Site, Seed: c.Seed, Concurrency: c.Concurrency, Host: (*host)(x), Observer: c.Observer, OnQuotaSpent: c.OnQuotaSpent})
+	x := &Core{
+		config:      c,
+		events:      make(chan event, eventQueueLength),
+		stopped:     make(chan struct{}),
+		readySignal: make(chan struct{}),
+	}
+	x.engine = engine.New(engine.Config{
+		Site:         c.Site,
+		Seed:         c.Seed,
+		Concurrency:  c.Concurrency,
+		Host:         (*host)(x),
+		Observer:     c.Observer,
+		OnQuotaSpent: c.OnQuotaSpent,
+	})
 	return x
 }
 
-// Ready says whether requests can be served.
+// Ready reports whether requests can be served.
 func (x *Core) Ready() bool { return x.ready.Load() && !x.awaitingPlan.Load() }
 
-// Wait waits until the core is ready, or ctx ends.
+// WaitReady waits until an endpoint is ready. It returns the cause of ctx if that ends first, and context.Canceled if
+// the core stops first.
 func (x *Core) WaitReady(ctx context.Context) error {
 	select {
 	case <-x.readySignal:
@@ -78,26 +98,7 @@
 	}
 }
 
-// post hands an event to the core. After its end there is nobody to tell, and nobody must wait for it.
-func (x *Core) post(event func(now monotime.Micros)) {
-	select {
-	case x.events <- event:
-	case <-x.stopped:
-	}
-}
-
-// ask posts an event, waits for what it returns, and returns that; the zero value once the core has ended.
-func query[T any](x *Core, event func(now monotime.Micros) T) (v T) {
-	got := make(chan T, 1)
-	x.post(func(now monotime.Micros) { got <- event(now) })
-	select {
-	case v = <-got:
-	case <-x.stopped:
-	}
-	return v
-}
-
-// Run handles events and what is due until ctx ends. Nothing in it waits for anything else.
+// Run handles events and fires the engine's timers until ctx ends.
 func (x *Core) Run(ctx context.Context) {
 	defer close(x.stopped)
 	timer := time.NewTimer(0)
@@ -106,14 +107,14 @@
 		now := x.config.Clock.Now()
 		x.runPendingStarts(now)
 		x.engine.Advance(now)
-		if at, ok := x.engine.Next(); ok {
-			timer.Reset(clock.Duration(at - now))
+		if due, ok := x.engine.Next(); ok {
+			timer.Reset(clock.Duration(due - now))
 		}
 		select {
-		case event := <-x.events:
+		case handle := <-x.events:
 			now = x.config.Clock.Now()
 			x.runPendingStarts(now)
-			event(now)
+			handle(now)
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -121,18 +122,38 @@
 	}
 }
 
-// within posts an event and returns what it returns, unless ctx ends before it is there.
-func queryContext[T any](ctx context.Context, x *Core, event func(now monotime.Micros) T) (v T, err error) {
-	got := make(chan T, 1)
+// post passes an event to the core. Once the core has stopped, the event is dropped.
+func (x *Core) post(e event) {
+	select {
+	case x.events <- e:
+	case <-x.stopped:
+	}
+}
+
+// query posts an event, waits for what it returns, and returns that; the zero value once the core has stopped.
+func query[T any](x *Core, read func(now monotime.Micros) T) (v T) {
+	result := make(chan T, 1)
+	x.post(func(now monotime.Micros) { result <- read(now) })
+	select {
+	case v = <-result:
+	case <-x.stopped:
+	}
+	return v
+}
+
+// queryContext is query for callers with a context. It returns the cause of ctx if that ends before the result is
+// there, and context.Canceled if the core has stopped.
+func queryContext[T any](ctx context.Context, x *Core, read func(now monotime.Micros) T) (v T, err error) {
+	result := make(chan T, 1)
 	select {
-	case x.events <- func(now monotime.Micros) { got <- event(now) }:
+	case x.events <- func(now monotime.Micros) { result <- read(now) }:
 	case <-x.stopped:
 		return v, context.Canceled
 	case <-ctx.Done():
 		return v, context.Cause(ctx)
 	}
 	select {
-	case v = <-got:
+	case v = <-result:
 		return v, nil
 	case <-x.stopped:
 		return v, context.Canceled
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -52,7 +52,11 @@
 // pool adds a pool to a core.
 func pool(t *testing.T, x *Core, name string, known ...engine.EndpointInfo) *Pool {
 	t.Helper()
-	p, err := x.NewPool(engine.PoolConfig{Name: name, InitialEndpoints: engine.EndpointUpdate{Generation: 7, Endpoints: known}, Watch: func(bool) {}})
+	p, err := x.NewPool(engine.PoolConfig{
+		Name:             name,
+		InitialEndpoints: engine.EndpointUpdate{Generation: 7, Endpoints: known},
+		Watch:            func(bool) {},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +72,7 @@
 }
 
 // Without any endpoint a core is not ready; with one it is.
-func TestReady(t *testing.T) {
+func TestReadyOnceAnEndpointIsReady(t *testing.T) {
 	p, _ := running(t)
 	x := p.core
 	x.sync(t)
@@ -83,8 +87,8 @@
 	}
 }
 
-// A list older than the one held changes nothing, unless another discovery tells it.
-func TestStaleList(t *testing.T) {
+// A list that is older than the current one is ignored, unless another source gives it.
+func TestStaleListIsIgnored(t *testing.T) {
 	p, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
 	x := p.core
 	up := []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
@@ -93,33 +97,36 @@
 	if x.Ready() {
 		t.Error("an old list brought a draining endpoint back")
 	}
-	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 3, NewSource: true, GenerationsReset: true, Endpoints: up})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 3,
+		NewSource: true, GenerationsReset: true, Endpoints: up})
 	x.sync(t)
 	if x.Ready() {
 		t.Error("a list that began anew brought back an endpoint that is known to drain")
 	}
-	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 1, NewSource: true, Endpoints: up})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 1,
+		NewSource: true, Endpoints: up})
 	x.sync(t)
 	if !x.Ready() || len(u.made) != 1 {
 		t.Error("another discovery's list was passed over")
 	}
 }
 
-// What a watch tells after its end is not heard: it may be older than what the next one has told.
-func TestEndedWatchIsNotHeard(t *testing.T) {
+// An update that comes after the end of its watch is ignored: it may be older than what the next watch has given.
+func TestUpdateOfEndedWatchIsIgnored(t *testing.T) {
 	p, u := running(t)
 	x := p.core
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	p.UpdateEndpoints(ctx, engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 8, Endpoints: []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
+	p.UpdateEndpoints(ctx, engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 8,
+		Endpoints: []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}})
 	x.sync(t)
 	if x.Ready() || len(u.made) != 0 {
 		t.Error("a list of an ended watch was heard")
 	}
 }
 
-// A request has one answer, whatever comes of its attempts, and after the core's end nobody waits for it.
-func TestOneAnswer(t *testing.T) {
+// A request gets one response, whatever its attempts do, and nobody waits for it once the core has stopped.
+func TestEachRequestGetsOneResponse(t *testing.T) {
 	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	release := make(chan struct{})
@@ -128,9 +135,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &Call{Client: client, Pool: p, ArrivedAt: x.config.Clock.Now(), ID: "1", Response: make(chan engine.Response, 1), Request: in,
-		Attempt: func(_ context.Context, try *AttemptContext) engine.AttemptResult {
-			if !try.ClaimSend(x.config.Clock.Now()) {
+	c := &Call{Client: client, Pool: p, ArrivedAt: x.config.Clock.Now(), ID: "1",
+		Response: make(chan engine.Response, 1), Request: in,
+		Attempt: func(_ context.Context, attempt *AttemptContext) engine.AttemptResult {
+			if !attempt.ClaimSend(x.config.Clock.Now()) {
 				return engine.AttemptResult{Status: balancer.Moot}
 			}
 			<-release
@@ -162,9 +170,10 @@
 // call returns a call whose attempts wait for release.
 func (p *Pool) call(t *testing.T, client *engine.Client, id string, release <-chan struct{}) *Call {
 	now := p.core.config.Clock.Now()
-	return &Call{Client: client, Pool: p, ArrivedAt: now, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Deadline: now + 1_000_000},
-		Attempt: func(_ context.Context, try *AttemptContext) engine.AttemptResult {
-			if !try.ClaimSend(p.core.config.Clock.Now()) {
+	return &Call{Client: client, Pool: p, ArrivedAt: now, ID: id,
+		Response: make(chan engine.Response, 1), Request: balancer.Request{Deadline: now + 1_000_000},
+		Attempt: func(_ context.Context, attempt *AttemptContext) engine.AttemptResult {
+			if !attempt.ClaimSend(p.core.config.Clock.Now()) {
 				return engine.AttemptResult{Status: balancer.Moot}
 			}
 			<-release
@@ -172,8 +181,8 @@
 		}}
 }
 
-// Each pool has its own endpoints; one that is closed with a request open ends it, and takes nothing new.
-func TestPoolsComeAndGo(t *testing.T) {
+// Each pool has its own endpoints. A pool that is closed with a request open finishes it, and accepts nothing new.
+func TestClosedPoolDissolvesOnceIdle(t *testing.T) {
 	first, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := first.core
 	second := pool(t, x, "second", engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
@@ -189,7 +198,8 @@
 	if got := []string{<-u.made, <-u.made}; got[0] != "127.0.0.1:1" || got[1] != "127.0.0.1:2" {
 		t.Errorf("targets %v", got)
 	}
-	if s := x.Snapshot(); len(s.Pools) != 2 || s.Pool("second") == nil || s.Pool("second").Endpoints[0].Addr != "127.0.0.1:2" {
+	s := x.Snapshot()
+	if len(s.Pools) != 2 || s.Pool("second") == nil || s.Pool("second").Endpoints[0].Addr != "127.0.0.1:2" {
 		t.Errorf("snapshot %+v", s)
 	}
 	second.Close()
@@ -205,8 +215,9 @@
 	}
 	close(release)
 	for _, c := range []*Call{a, b} {
-		if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != c.Pool.pool.Name() {
-			t.Errorf("answer %+v", got)
+		got := scriptedpeer.Within(t, c.Response, "response")
+		if got.Verdict != engine.Served || got.Result.Response != c.Pool.pool.Name() {
+			t.Errorf("response %+v", got)
 		}
 	}
 	x.post(func(monotime.Micros) {
@@ -215,24 +226,27 @@
 	if !<-gone {
 		t.Error("a closed pool without requests stays")
 	}
-	second.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 9}) // too late to matter
+	// An update after the pool has dissolved changes nothing.
+	second.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 9})
 	x.sync(t)
 }
 
-// An answer that has begun is the client's; what follows of the attempt changes nothing for it.
-func TestBegunAnswer(t *testing.T) {
+// A response that has started is the client's: neither the deadline nor the rest of the attempt changes that.
+func TestStartedResponseOutlivesDeadline(t *testing.T) {
 	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1, MaxOpen: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	release, ended := make(chan struct{}), make(chan bool, 1)
+	release := make(chan struct{})
+	ended := make(chan bool, 1)
 	c := p.call(t, client, "1", nil)
 	c.Request.Deadline = c.ArrivedAt + 50_000
-	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
+	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if !try.ClaimSend(now) || !try.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now, Response: "begun"}) {
+		started := engine.AttemptResult{Status: balancer.OK, At: now, Response: "started"}
+		if !attempt.ClaimSend(now) || !attempt.ResponseStarted(started) {
 			return engine.AttemptResult{Status: balancer.Moot}
 		}
 		<-release
@@ -240,21 +254,22 @@
 		return engine.AttemptResult{Status: balancer.Reset, At: now}
 	}
 	x.Submit(c)
-	if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != "begun" {
+	if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != "started" {
 		t.Fatalf("answer %+v", got)
 	}
 	over := make(chan struct{})
-	defer time.AfterFunc(clock.Duration(c.Request.Deadline+20_000-x.config.Clock.Now()), func() { close(over) }).Stop()
+	untilDeadline := clock.Duration(c.Request.Deadline + 20_000 - x.config.Clock.Now())
+	defer time.AfterFunc(untilDeadline, func() { close(over) }).Stop()
 	scriptedpeer.Within(t, over, "the deadline")
-	if waiting, inFlight, _, calls := p.Counts(); waiting != 0 || inFlight != 0 || calls != 1 {
-		t.Errorf("while it streams: %d waiting, %d in flight, %d calls", waiting, inFlight, calls)
+	if n := p.Counts(); n.Queued != 0 || n.InFlight != 0 || n.OpenCalls != 1 {
+		t.Errorf("while it streams: %+v", n)
 	}
 	close(release)
 	if !scriptedpeer.Within(t, ended, "the end of the attempt") {
 		t.Error("the deadline ended an answer that had begun")
 	}
 	for end := time.Now().Add(scriptedpeer.Soon); ; {
-		if _, _, _, calls := p.Counts(); calls == 0 {
+		if p.Counts().OpenCalls == 0 {
 			break
 		}
 		if time.Now().After(end) {
@@ -263,8 +278,8 @@
 	}
 }
 
-// A client that goes just as its answer begins leaves no attempt waiting to be read.
-func TestLeaveAsTheAnswerBegins(t *testing.T) {
+// A client that goes just as its response starts leaves no attempt that waits for a reader.
+func TestClientGoneAsResponseStartsAbortsAttempt(t *testing.T) {
 	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
@@ -273,9 +288,9 @@
 	}
 	ended := make(chan struct{})
 	c := p.call(t, client, "1", nil)
-	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
+	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if try.ClaimSend(now) && try.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now}) {
+		if attempt.ClaimSend(now) && attempt.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now}) {
 			<-ctx.Done()
 			close(ended)
 		}
@@ -287,36 +302,38 @@
 	scriptedpeer.Within(t, ended, "the end of the attempt")
 }
 
-// What has gone out and cannot be shown again is not tried again, whatever the class allows. Whether it is refused or failed
-// is the balancer's word, as for any other: the class is safe.
-func TestSpentRequest(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}, engine.EndpointInfo{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
+// A request that cannot be sent again is not retried, whatever its class allows. The balancer decides whether it is
+// rejected or failed, as for any other: the class is safe.
+func TestRequestNotReplayableIsNotRetried(t *testing.T) {
+	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"},
+		engine.EndpointInfo{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, spent := range []bool{true, false} {
-		tries := make(chan struct{}, 10)
+	for _, notReplayable := range []bool{true, false} {
+		attempts := make(chan struct{}, 10)
 		c := p.call(t, client, "1", nil)
-		c.NotReplayable = func() bool { return spent }
-		c.Attempt = func(_ context.Context, try *AttemptContext) engine.AttemptResult {
-			try.ClaimSend(x.config.Clock.Now())
-			tries <- struct{}{}
+		c.NotReplayable = func() bool { return notReplayable }
+		c.Attempt = func(_ context.Context, attempt *AttemptContext) engine.AttemptResult {
+			attempt.ClaimSend(x.config.Clock.Now())
+			attempts <- struct{}{}
 			return engine.AttemptResult{Status: balancer.Error, At: x.config.Clock.Now(), Response: "said"}
 		}
 		x.Submit(c)
 		got := scriptedpeer.Within(t, c.Response, "answer")
-		if got.Result == nil || got.Result.Response != "said" || spent != (len(tries) == 1) || spent && got.Verdict != engine.Rejected {
-			t.Errorf("spent %v: %+v after %d tries", spent, got, len(tries))
+		if got.Result == nil || got.Result.Response != "said" || notReplayable != (len(attempts) == 1) ||
+			notReplayable && got.Verdict != engine.Rejected {
+			t.Errorf("not replayable %v: %+v after %d attempts", notReplayable, got, len(attempts))
 		}
 		x.sync(t)
 	}
 }
 
-// The sending of an attempt that is withdrawn has ended before anything else is done, for its request or another, however long
-// whoever makes the attempt takes to notice: no two are out where two may not be.
-func TestSendingEndsBeforeTheNext(t *testing.T) {
+// The sending of an aborted attempt has ended before any other event, however long its function takes to notice: no two
+// attempts are out where two are not allowed.
+func TestAbortEndsSendingBeforeNextEvent(t *testing.T) {
 	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
@@ -328,8 +345,8 @@
 	defer close(over)
 	c := p.call(t, client, "1", nil)
 	c.Request.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
-	c.Attempt = func(ctx context.Context, try *AttemptContext) engine.AttemptResult {
-		if try.OnAbort(func() { ended.Store(true) }) && try.ClaimSend(x.config.Clock.Now()) {
+	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
+		if attempt.OnAbort(func() { ended.Store(true) }) && attempt.ClaimSend(x.config.Clock.Now()) {
 			close(out)
 		}
 		<-over // it notices nothing
@@ -344,8 +361,9 @@
 	}
 }
 
-// A connection belongs to whoever comes first: one that is let go is not ended any more, one that was ended is not let go.
-func TestOneEndsTheSending(t *testing.T) {
+// Either the attempt or an abort gets the connection: one that is detached is not ended, one that was ended is not
+// detached.
+func TestSendGuardEndsSendingOnce(t *testing.T) {
 	var l sendGuard
 	if !l.attach(func() { t.Error("ended after it was let go") }) || !l.detach() {
 		t.Error("not held, or not let go")
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -10,45 +10,56 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Join has the core decide with the other instances of its fleet, or returns the error of settings that make no sense. It goes
-// before the first pool; what is carried out by t is called by the core's goroutine.
-func (x *Core) JoinFleet(t engine.Coordination) error { return x.engine.JoinFleet(t) }
+// JoinFleet has the core decide together with the other instances of its fleet, or returns an error for invalid
+// settings. It must be called before the first pool is made; the functions of c are called on the core's goroutine.
+func (x *Core) JoinFleet(c engine.Coordination) error { return x.engine.JoinFleet(c) }
 
-// BeginFleet begins that, for a process that took over from none.
+// StartCoordination starts the core's part in its fleet, for a process without a predecessor.
 func (x *Core) StartCoordination() { x.post(x.engine.StartCoordination) }
 
-// Word takes a word of another instance in.
-func (x *Core) ReceiveFleetMessage(from string, w coordination.Word) {
-	x.post(func(now monotime.Micros) { x.engine.ReceiveFleetMessage(now, from, w) })
+// ReceiveFleetMessage handles a gossip message of another instance.
+func (x *Core) ReceiveFleetMessage(from string, message coordination.Word) {
+	x.post(func(now monotime.Micros) { x.engine.ReceiveFleetMessage(now, from, message) })
 }
 
-// GiveFleet ends the core's part in its fleet: it spends nothing any more, and the others need not wait until its time is up. It
-// returns what who takes the core's place has to know; nil where there is no fleet. BeginFleet goes on where nobody does.
+// HandOverCoordination ends the core's part in its fleet: it spends nothing any more, and the others need not wait
+// until its lease expires. It returns what a successor has to know; nil without a fleet. If there is no successor,
+// StartCoordination goes on.
 func (x *Core) HandOverCoordination() *quota.State { return query(x, x.engine.HandOverCoordination) }
 
-// FleetView returns what is known of the fleet; no where there is none.
-func (x *Core) FleetView(ctx context.Context) (v coordination.View, yes bool, err error) {
-	v, err = queryContext(ctx, x, func(now monotime.Micros) (v coordination.View) {
-		v, yes = x.engine.FleetView(now)
-		return v
+// FleetView returns what is known of the fleet; ok is false without one.
+func (x *Core) FleetView(ctx context.Context) (view coordination.View, ok bool, err error) {
+	type result struct {
+		view coordination.View
+		ok   bool
+	}
+	r, err := queryContext(ctx, x, func(now monotime.Micros) (r result) {
+		r.view, r.ok = x.engine.FleetView(now)
+		return r
 	})
-	return v, yes && err == nil, err
+	return r.view, r.ok && err == nil, err
 }
 
-// Order has the core obey an order in which machines go out (engine.Engine.Order), and returns once that holds.
-func (x *Core) ApplyMaintenancePlan(o engine.MaintenancePlan) {
-	x.awaitingPlan.Store(o.AwaitingPlan)
+// ApplyMaintenancePlan has the core follow a plan (engine.Engine.ApplyMaintenancePlan), and returns once that is in
+// force.
+func (x *Core) ApplyMaintenancePlan(plan engine.MaintenancePlan) {
+	x.awaitingPlan.Store(plan.AwaitingPlan)
 	query(x, func(now monotime.Micros) bool {
-		x.engine.ApplyMaintenancePlan(now, o)
+		x.engine.ApplyMaintenancePlan(now, plan)
 		return true
 	})
 }
 
-// Stand returns how machines stand, and how many attempts are open at each of some.
-func (x *Core) MaintenanceStatus(names []string) (f maintenance.FleetStatus, open map[string]int) {
-	f = query(x, func(now monotime.Micros) maintenance.FleetStatus {
-		open = x.engine.OpenAttempts(names)
-		return x.engine.MaintenanceFacts(now)
+// MaintenanceStatus returns the state of all machines, and how many attempts are open at each of some.
+func (x *Core) MaintenanceStatus(endpoints []string) (facts maintenance.FleetStatus, open map[string]int) {
+	type result struct {
+		facts maintenance.FleetStatus
+		open  map[string]int
+	}
+	r := query(x, func(now monotime.Micros) (r result) {
+		r.open = x.engine.OpenAttempts(endpoints)
+		r.facts = x.engine.MaintenanceFacts(now)
+		return r
 	})
-	return f, open
+	return r.facts, r.open
 }
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -8,10 +8,10 @@
 	"dunlinsail/internal/monotime"
 )
 
-// host carries out what the engine asks for (engine.Host), on goroutines that report by posted events.
+// host carries out what the engine requests (engine.Host), on goroutines that report by posting events.
 type host Core
 
-// sending is what is out of an attempt.
+// inFlightSend is the host's part of an attempt.
 type inFlightSend struct {
 	startedAt time.Time
 	gate      sendGate
@@ -19,35 +19,54 @@
 	cancel    context.CancelFunc
 }
 
-// Target makes a target of an address.
+// NewTarget returns the target for an address.
 func (h *host) NewTarget(addr string) engine.Target { return h.config.Upstream.Target(addr) }
 
-// Start makes an attempt.
+// StartAttempt makes an attempt on a goroutine of its own.
 func (h *host) StartAttempt(a *engine.Attempt) {
 	x := (*Core)(h)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &inFlightSend{startedAt: time.Now(), cancel: cancel}
 	a.HostData = s
-	e, c := a.Endpoint, a.Call.HostData.(*Call)
-	to, deadline, until := e.Target.(Target), a.Deadline, a.SendBefore // they may change later
+	c := a.Call.HostData.(*Call)
+	attempt := x.attemptContext(a, s)
 	go func() {
-		r := c.Attempt(ctx, &AttemptContext{Target: to, Deadline: deadline, ClaimSend: func(now monotime.Micros) bool {
-			// The dial may have outlasted the grace of a drain, the time of the request, or the window in which it may be repeated.
-			return e.MaySend(now) && now < deadline && (until == 0 || now < until) && s.gate.claim()
-		}, ResponseStarted: func(r engine.AttemptResult) bool {
-			return query(x, func(now monotime.Micros) bool { return x.engine.ResponseStarted(now, a, r) })
-		}, OnAbort: s.guard.attach, ReleaseConn: s.guard.detach, ResponseProgress: func() { x.post(func(now monotime.Micros) { x.engine.ResponseProgress(now, a) }) }})
+		r := c.Attempt(ctx, attempt)
 		x.post(func(now monotime.Micros) { x.engine.AttemptEnded(now, a, r) })
 	}()
 }
 
-// Shut keeps in what has not gone out. What was never started never runs.
+// attemptContext returns what an attempt's function gets. It is made on the core's goroutine, since the engine may
+// change the attempt's fields later.
+func (x *Core) attemptContext(a *engine.Attempt, s *inFlightSend) *AttemptContext {
+	endpoint := a.Endpoint
+	deadline := a.Deadline
+	sendBefore := a.SendBefore
+	return &AttemptContext{
+		Target:   endpoint.Target.(Target),
+		Deadline: deadline,
+		ClaimSend: func(now monotime.Micros) bool {
+			// A dial may outlast the drain grace, the deadline, or the time in which the request may be repeated.
+			return endpoint.MaySend(now) && now < deadline && (sendBefore == 0 || now < sendBefore) && s.gate.claim()
+		},
+		OnAbort:     s.guard.attach,
+		ReleaseConn: s.guard.detach,
+		ResponseStarted: func(r engine.AttemptResult) bool {
+			return query(x, func(now monotime.Micros) bool { return x.engine.ResponseStarted(now, a, r) })
+		},
+		ResponseProgress: func() {
+			x.post(func(now monotime.Micros) { x.engine.ResponseProgress(now, a) })
+		},
+	}
+}
+
+// CancelUnsent cancels an attempt of which nothing has been written. One that was never started is such.
 func (h *host) CancelUnsent(a *engine.Attempt) bool {
 	s, started := a.HostData.(*inFlightSend)
 	return !started || s.gate.closeUnsent()
 }
 
-// Withdraw ends an attempt.
+// AbortAttempt ends an attempt.
 func (h *host) AbortAttempt(a *engine.Attempt) {
 	if s, started := a.HostData.(*inFlightSend); started {
 		s.guard.abort()
@@ -55,34 +74,35 @@
 	}
 }
 
-// Silent tells the target.
+// AttemptTimedOut notifies the attempt's target.
 func (h *host) AttemptTimedOut(a *engine.Attempt) {
 	a.Endpoint.Target.(Target).AttemptTimedOut(a.HostData.(*inFlightSend).startedAt)
 }
 
-// Probe asks an endpoint.
+// StartProbe probes an endpoint on a goroutine of its own.
 func (h *host) StartProbe(p *engine.Pool, e *engine.Endpoint) {
 	x := (*Core)(h)
-	sent, to := h.config.Clock.Now(), e.Target.(Target)
+	sentAt := h.config.Clock.Now()
+	target := e.Target.(Target)
 	go func() {
-		r := to.Probe()
-		x.post(func(now monotime.Micros) { x.engine.ProbeEnded(now, p, e, sent, r) })
+		r := target.Probe()
+		x.post(func(now monotime.Micros) { x.engine.ProbeEnded(now, p, e, sentAt, r) })
 	}()
 }
 
-// Answer hands the answer to the front.
-func (h *host) Respond(c *engine.Call, a engine.Response) {
-	c.HostData.(*Call).Response <- a // room for one, and the engine gives one
+// Respond passes the response to the frontend.
+func (h *host) Respond(c *engine.Call, r engine.Response) {
+	c.HostData.(*Call).Response <- r // never blocks: it has a buffer of one, and the engine responds once
 }
 
-// Ready notes it.
+// EndpointReady notes that an endpoint is ready.
 func (h *host) EndpointReady() {
 	h.ready.Store(true)
 	close(h.readySignal)
 }
 
-// Log writes to the log.
+// Log writes an informational line to the log.
 func (h *host) Log(line string, args ...any) { h.config.Log.Info(line, args...) }
 
-// Warn writes to the log.
+// Warn writes a warning to the log.
 func (h *host) Warn(line string, args ...any) { h.config.Log.Warn(line, args...) }
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -8,38 +8,39 @@
 	"dunlinsail/internal/monotime"
 )
 
-// ByHand takes an endpoint out by hand, or lets it in again (engine.Engine.ByHand). It returns once that holds, or with
-// the error of a core that has not come to it when ctx ends.
-func (x *Core) SetCordon(ctx context.Context, name string, out bool, at monotime.Micros) (w cordon.Word, known bool, err error) {
-	type said struct {
-		w     cordon.Word
+// SetCordon takes an endpoint out of service, or lets it back in (engine.Engine.SetCordon). It returns once that is in
+// force, or an error if ctx ends or the core stops before.
+func (x *Core) SetCordon(ctx context.Context, name string, out bool, at monotime.Micros) (
+	entry cordon.Word, known bool, err error) {
+	type result struct {
+		entry cordon.Word
 		known bool
 	}
-	s, err := queryContext(ctx, x, func(now monotime.Micros) (s said) {
-		s.w, s.known = x.engine.SetCordon(now, name, out, at)
-		return s
+	r, err := queryContext(ctx, x, func(now monotime.Micros) (r result) {
+		r.entry, r.known = x.engine.SetCordon(now, name, out, at)
+		return r
 	})
-	return s.w, s.known, err
+	return r.entry, r.known, err
 }
 
-// Hear takes words in that were said elsewhere.
-func (x *Core) ReceiveCordons(words ...cordon.Word) {
+// ReceiveCordons applies cordons that were set in other processes.
+func (x *Core) ReceiveCordons(cordons ...cordon.Word) {
 	x.post(func(now monotime.Micros) {
-		for _, w := range words {
-			x.engine.ReceiveCordon(now, w)
+		for _, entry := range cordons {
+			x.engine.ReceiveCordon(now, entry)
 		}
 	})
 }
 
-// Words returns the words on endpoints by hand.
+// Cordons returns all cordons.
 func (x *Core) Cordons(ctx context.Context) ([]cordon.Word, error) {
 	return queryContext(ctx, x, func(monotime.Micros) []cordon.Word { return x.engine.Cordons() })
 }
 
-// Figures returns what the core shows of itself, and calls beside in the same instant.
-func (x *Core) Statistics(ctx context.Context, beside func()) (engine.Statistics, error) {
+// Statistics returns the engine's figures, and calls collect at the same instant.
+func (x *Core) Statistics(ctx context.Context, collect func()) (engine.Statistics, error) {
 	return queryContext(ctx, x, func(now monotime.Micros) engine.Statistics {
-		beside()
+		collect()
 		return x.engine.Statistics(now)
 	})
 }
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -7,34 +7,13 @@
 	"dunlinsail/internal/monotime"
 )
 
-// begin has a pool begin, before any event that is posted from now on. It never waits: Run may not have begun.
-func (x *Core) startPool(event func(now monotime.Micros)) {
-	x.mu.Lock()
-	x.pendingStarts = append(x.pendingStarts, event)
-	x.mu.Unlock()
-	select {
-	case x.events <- func(monotime.Micros) {}:
-	default: // there are others
-	}
-}
-
-func (x *Core) runPendingStarts(now monotime.Micros) {
-	x.mu.Lock()
-	begins := x.pendingStarts
-	x.pendingStarts = nil
-	x.mu.Unlock()
-	for _, event := range begins {
-		event(now)
-	}
-}
-
-// Pool is a pool of a core.
+// Pool is a pool of a core. Its methods are safe for concurrent use.
 type Pool struct {
 	core *Core
 	pool *engine.Pool
 }
 
-// NewPool adds a pool, or returns the *balancer.SettingError of settings that make no sense.
+// NewPool adds a pool, or returns the *balancer.SettingError of invalid settings. It may be called before Run.
 func (x *Core) NewPool(c engine.PoolConfig) (*Pool, error) {
 	p, err := x.engine.NewPool(c)
 	if err != nil {
@@ -44,29 +23,63 @@
 	return &Pool{x, p}, nil
 }
 
-// Moved tells that the list comes from another source from now on.
+// startPool has a pool start before any event that is posted from now on. It never blocks: Run may not have been
+// called.
+func (x *Core) startPool(start event) {
+	x.mu.Lock()
+	x.pendingStarts = append(x.pendingStarts, start)
+	x.mu.Unlock()
+	select {
+	case x.events <- func(monotime.Micros) {}: // wakes the core
+	default: // there are other events
+	}
+}
+
+// runPendingStarts starts pools that are new.
+func (x *Core) runPendingStarts(now monotime.Micros) {
+	x.mu.Lock()
+	starts := x.pendingStarts
+	x.pendingStarts = nil
+	x.mu.Unlock()
+	for _, start := range starts {
+		start(now)
+	}
+}
+
+// SetSource changes the name of the source of the endpoint list.
 func (p *Pool) SetSource(source string) {
 	p.core.post(func(monotime.Micros) { p.pool.SetSource(source) })
 }
 
-// Members tells news of the list, unless ctx has ended by the time it is heard.
-func (p *Pool) UpdateEndpoints(ctx context.Context, told engine.EndpointUpdate) {
+// UpdateEndpoints applies an update of the endpoint list, unless ctx has ended by the time it is handled.
+func (p *Pool) UpdateEndpoints(ctx context.Context, update engine.EndpointUpdate) {
 	p.core.post(func(now monotime.Micros) {
 		if ctx.Err() == nil {
-			p.pool.UpdateEndpoints(now, told)
+			p.pool.UpdateEndpoints(now, update)
 		}
 	})
 }
 
-// Close takes nothing new; what is open goes on to its end, at the endpoints of the pool.
+// Close has the pool accept no more requests. Open ones go on at its endpoints until they end.
 func (p *Pool) Close() { p.core.post(p.pool.Close) }
 
-// Counts returns how many of the pool's requests wait and are in flight, how many may be (0 is no bound), and how many
-// calls of all pools are not forgotten yet.
-func (p *Pool) Counts() (waiting, inFlight, slots, calls int) {
-	n := query(p.core, func(monotime.Micros) [4]int {
-		waiting, inFlight, slots := p.pool.Counts()
-		return [4]int{waiting, inFlight, slots, p.core.engine.Calls()}
+// PoolCounts are the numbers of requests at one instant.
+type PoolCounts struct {
+	Queued      int // in the pool's queue
+	InFlight    int // of the pool
+	MaxInFlight int // of the pool, where that is learned; 0 is no bound that is learned
+	OpenCalls   int // in the request table, of all pools
+}
+
+// Counts returns the pool's numbers of requests.
+func (p *Pool) Counts() PoolCounts {
+	return query(p.core, func(monotime.Micros) PoolCounts {
+		queued, inFlight, maxInFlight := p.pool.Counts()
+		return PoolCounts{
+			Queued:      queued,
+			InFlight:    inFlight,
+			MaxInFlight: maxInFlight,
+			OpenCalls:   p.core.engine.Calls(),
+		}
 	})
-	return n[0], n[1], n[2], n[3]
 }
--- a/internal/core/sendguard.go
+++ b/internal/core/sendguard.go
@@ -5,51 +5,56 @@
 	"sync/atomic"
 )
 
-// line is what an attempt is sent on. Whoever withdraws the attempt ends the sending on it before anything else goes out for its
-// request, so that no two are out where two may not be; whoever lets go of it first keeps what it was.
+// sendGuard protects the connection that an attempt is sent on. An abort ends the sending before anything else is sent
+// for the request, so that no two attempts are out where two are not allowed. If the attempt detaches first, an abort
+// no longer touches the connection. It is safe for concurrent use.
 type sendGuard struct {
 	mu        sync.Mutex
-	abortFunc func()
+	abortFunc func() // nil before attach and after detach
 	aborted   bool
 }
 
-// hold notes how to end the sending, which must not wait. It says no if that is to be ended already.
-func (l *sendGuard) attach(end func()) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.abortFunc = end
-	return !l.aborted
+// attach sets how to end the sending, which must not block. It returns false if the attempt was aborted already.
+func (g *sendGuard) attach(abort func()) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.abortFunc = abort
+	return !g.aborted
 }
 
-// letGo says that the sending is over, and whether nobody has ended it.
-func (l *sendGuard) detach() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.abortFunc = nil
-	return !l.aborted
+// detach notes that the sending is over, and reports whether it was not aborted.
+func (g *sendGuard) detach() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.abortFunc = nil
+	return !g.aborted
 }
 
-func (l *sendGuard) abort() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.aborted = true; l.abortFunc != nil {
-		l.abortFunc()
-		l.abortFunc = nil
+// abort ends the sending, now or once it is attached.
+func (g *sendGuard) abort() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.aborted = true
+	if g.abortFunc != nil {
+		g.abortFunc()
+		g.abortFunc = nil
 	}
 }
 
-// gate decides once whether an attempt's first byte goes out.
+// sendGate decides once whether an attempt's first byte is written. It is safe for concurrent use.
 type sendGate struct{ state atomic.Int32 }
 
+// The states of a sendGate. The last two are final.
 const (
 	gateOpen int32 = iota
 	gateClaimed
 	gateClosed
 )
 
+// claim reports whether the first byte may be written.
 func (g *sendGate) claim() bool { return g.state.CompareAndSwap(gateOpen, gateClaimed) }
 
-// shut keeps the attempt in, and says whether that was in time: then it never runs.
+// closeUnsent keeps the first byte from being written, and reports whether that was in time.
 func (g *sendGate) closeUnsent() bool {
 	g.state.CompareAndSwap(gateOpen, gateClosed)
 	return g.state.Load() == gateClosed
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -105,7 +105,7 @@
 		}
 		open = append(open, k)
 	}
-	scriptedpeer.Eventually(t, "two open", func() bool { _, n, _, _ := d.pools[""].endpoints.Counts(); return n == 2 })
+	scriptedpeer.Eventually(t, "two open", func() bool { return d.pools[""].endpoints.Counts().InFlight == 2 })
 	third := dial(t, "tcp", d.addrs["desk"])
 	resp, body := third.ask(t, request("look", 900, ""))
 	if resp.StatusCode != 503 || !strings.Contains(body, "too many requests of this client") {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -152,8 +152,8 @@
 	// All is given back.
 	scriptedpeer.Eventually(t, "nothing open", func() bool {
 		conns, busy := third.front.Conns()
-		waiting, inFlight, _, calls := third.pools[""].endpoints.Counts()
-		return conns == 0 && busy == 0 && waiting == 0 && inFlight == 0 && calls == 0
+		counts := third.pools[""].endpoints.Counts()
+		return conns == 0 && busy == 0 && counts.Queued == 0 && counts.InFlight == 0 && counts.OpenCalls == 0
 	})
 	for _, h := range third.clients.held() {
 		if h.Connections != 0 || h.Open != 0 || h.Bytes != 0 {
@@ -257,13 +257,13 @@
 		}
 		scriptedpeer.Eventually(t, "all given back", func() bool {
 			conns, busy := d.front.Conns()
-			waiting, inFlight, _, calls := d.pools[""].endpoints.Counts()
+			counts := d.pools[""].endpoints.Counts()
 			for _, h := range d.clients.held() {
 				if h.Client != "desk" && h != (Held{Client: h.Client}) {
 					return false
 				}
 			}
-			return conns == 1 && busy == 0 && waiting == 0 && inFlight == 0 && calls == 0
+			return conns == 1 && busy == 0 && counts.Queued == 0 && counts.InFlight == 0 && counts.OpenCalls == 0
 		})
 	}
 	round()
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	scriptedpeer.Eventually(t, "nothing open", func() bool {
 		for _, p := range d.pools {
-			if waiting, inFlight, _, calls := p.endpoints.Counts(); waiting+inFlight+calls > 0 {
+			if counts := p.endpoints.Counts(); counts.Queued+counts.InFlight+counts.OpenCalls > 0 {
 				return false
 			}
 		}
@@ -475,8 +475,8 @@
 	if resp, _ := dial(t, "tcp", addr).ask(t, "GET /one/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 1 {
 		t.Errorf("after the change: %s, %d asked there", resp.Status, b.Asked())
 	}
-	if _, _, _, calls := was.endpoints.Counts(); calls != 1 {
-		t.Errorf("%d calls are open", calls)
+	if counts := was.endpoints.Counts(); counts.OpenCalls != 1 {
+		t.Errorf("%d calls are open", counts.OpenCalls)
 	}
 	close(more)
 	if got, err := io.ReadAll(resp.Body); err != nil || len(got) != 200_000 {
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -5,67 +5,84 @@
 	"dunlinsail/internal/monotime"
 )
 
-// actions carries out what a pool's balancer asks for (balancer.Actions).
+// actions carries out what the balancer of a pool decides (balancer.Actions).
 type actions struct {
 	*Engine
 	pool *Pool
 }
 
-// Send starts an attempt.
+// Send starts an attempt of a request at an endpoint.
 func (x actions) Send(id uint64, number uint32, timeout monotime.Micros) {
-	now := x.now
-	c, e := x.calls[id], x.pool.byNumber[number]
+	c := x.calls[id]
 	if c == nil {
 		return
 	}
-	a := &Attempt{Call: c, Number: len(c.attempts), Endpoint: e, StartedAt: now, Deadline: c.Request.Deadline}
-	if timeout > 0 {
-		a.Deadline = min(a.Deadline, now+timeout)
-	}
-	a.SendBefore = x.pool.balancer.Until(id)
-	c.attempts = append(c.attempts, a)
-	c.openAttempts++
+	now := x.now
+	a := x.newAttempt(c, x.pool.byNumber[number], timeout)
 	x.pool.observeLoad(now, 1)
-	if l := x.pool.overload; l != nil && a.Number == 0 {
-		l.control.OnAttemptSent(now, int(c.Request.Class), true)
-	} else if l != nil {
-		x.pool.countRetry(now, int(c.Request.Class))
+	if o := x.pool.overload; o != nil {
+		if a.Number == 0 {
+			o.control.OnAttemptSent(now, int(c.Request.Class), true)
+		} else {
+			x.pool.countRetry(now, int(c.Request.Class))
+		}
 	}
-	if c.finished || e == nil || now >= a.Deadline || len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
-		if e == nil {
+	if c.finished || a.Endpoint == nil || now >= a.Deadline ||
+		len(c.attempts) > x.config.Site.Settings.Limits.MaxAttempts {
+		if a.Endpoint == nil {
 			a.Endpoint = &Endpoint{Number: number, Target: unknownTarget{}}
 		}
-		x.schedule(now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: balancer.Moot, At: now}) })
+		x.scheduleOutcome(a, balancer.Moot)
 		return
 	}
-	a.deadlineTimer = x.schedule(a.Deadline, func(now monotime.Micros) { x.expireAttempt(now, a) })
+	x.startDeadlineTimer(a)
 	if o := x.config.Observer; o != nil {
-		o.AttemptStarted(now, e.Name)
+		o.AttemptStarted(now, a.Endpoint.Name)
 	}
 	x.config.Host.StartAttempt(a)
 }
 
-// Refuse answers a client that trying again is harmless.
+// newAttempt adds an attempt to a call. A timeout of 0 is none of its own.
+func (x actions) newAttempt(c *Call, e *Endpoint, timeout monotime.Micros) *Attempt {
+	a := &Attempt{
+		Call:      c,
+		Number:    len(c.attempts),
+		Endpoint:  e,
+		StartedAt: x.now,
+		Deadline:  c.Request.Deadline,
+	}
+	if timeout > 0 {
+		a.Deadline = min(a.Deadline, x.now+timeout)
+	}
+	a.SendBefore = x.pool.balancer.Until(c.Request.ID)
+	c.attempts = append(c.attempts, a)
+	c.openAttempts++
+	return a
+}
+
+// Refuse rejects a request: a retry by the client is harmless.
 func (x actions) Refuse(id uint64, retryAfter monotime.Micros) {
-	if c := x.calls[id]; c != nil && !c.finished {
-		if len(c.attempts) == 0 {
-			x.pool.observeRejection(x.now)
-			if l := x.pool.overload; l != nil {
-				l.control.OnRejected(x.now, int(c.Request.Class), true)
-			}
+	c := x.calls[id]
+	if c == nil || c.finished {
+		return
+	}
+	if len(c.attempts) == 0 {
+		x.pool.observeRejection(x.now)
+		if o := x.pool.overload; o != nil {
+			o.control.OnRejected(x.now, int(c.Request.Class), true)
 		}
-		x.respond(c, Response{Verdict: Rejected, RetryAfter: retryAfter, Result: c.lastResult})
 	}
+	x.respond(c, Response{Verdict: Rejected, RetryAfter: retryAfter, Result: c.lastResult})
 }
 
-// Fail answers a client that its request failed.
+// Fail responds to a client that its request failed.
 func (x actions) Fail(id uint64) {
 	if c := x.calls[id]; c != nil && !c.finished {
 		x.failRequest(c)
 	}
 }
 
-// Cancel withdraws an attempt. One that wrote nothing never ran.
+// Cancel aborts an attempt. One of which nothing was written never ran.
 func (x actions) Cancel(id uint64, number int) {
 	c := x.calls[id]
 	if c == nil || number < 0 || number >= len(c.attempts) || c.attempts[number].done {
@@ -77,10 +94,10 @@
 		status = balancer.Moot
 	}
 	x.config.Host.AbortAttempt(a)
-	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, At: now}) })
+	x.scheduleOutcome(a, status)
 }
 
-// Timer asks for a Timer event.
+// Timer has the balancer's Timer called with a token after a delay.
 func (x actions) Timer(delay monotime.Micros, token uint32) {
 	x.schedule(x.now+delay, func(now monotime.Micros) {
 		if !x.pool.dissolved {
@@ -89,14 +106,14 @@
 	})
 }
 
-// Probe asks an endpoint for its load.
+// Probe requests a load report from an endpoint, if the budget of probes allows it.
 func (x actions) Probe(number uint32) {
 	if e := x.pool.byNumber[number]; e != nil && x.pool.allowProbe(x.now, number) {
 		x.config.Host.StartProbe(x.pool, e)
 	}
 }
 
-// Watch asks for the list's changes, or ends that.
+// Watch starts or stops the watch of the endpoint list.
 func (x actions) Watch(on bool) { x.pool.config.Watch(on) }
 
 // Log records a line for on-call staff.
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -6,33 +6,45 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Sharing says how many requests may go on together.
+// ConcurrencySettings bound how many requests may be in progress at once.
 type ConcurrencySettings struct {
-	MaxInFlight int                   // in flight at once in each pool; 0 is no bound. With Adaptive it is not used
-	MaxOpen     int                   // in flight and waiting, in all pools together; 0 is no bound
-	Adaptive    *concurrency.Settings // learns how many may be in flight in each pool; its Classes are filled in
+	MaxInFlight int                   // in each pool; 0 is no bound. Not used with Adaptive
+	MaxOpen     int                   // in flight and queued, in all pools together; 0 is no bound
+	Adaptive    *concurrency.Settings // learns the bound of each pool; the engine sets Classes and Seed
 }
 
-// share makes the decisions between clients.
+// objectiveToServiceTime is how many times its expected service time a class's latency objective is, before any request
+// was measured. The balancer's own first estimate is the same.
+const objectiveToServiceTime = 5
+
+// minQueueTime is how long a request must have been on its way to the balancer to count as queued: less than that is
+// spent between the frontend and the engine.
+const minQueueTime = 1000
+
+// initConcurrency makes the pool's fair queue and, where that is to be learned, its concurrency limit.
 func (p *Pool) initConcurrency(s ConcurrencySettings, seed uint64) error {
-	expect := make([]monotime.Micros, len(p.engine.config.Site.Settings.Classes))
-	for i, class := range p.engine.config.Site.Settings.Classes {
-		expect[i] = class.Aim / 5 // as the balancer's own first guess
+	classes := p.engine.config.Site.Settings.Classes
+	expected := make([]monotime.Micros, len(classes))
+	for i, class := range classes {
+		expected[i] = class.Aim / objectiveToServiceTime
 	}
+	maxInFlight := s.MaxInFlight
 	if s.Adaptive != nil {
-		l := *s.Adaptive
-		l.Classes, l.Seed = len(expect), seed
+		adaptive := *s.Adaptive
+		adaptive.Classes = len(expected)
+		adaptive.Seed = seed
 		var err error
-		if p.concurrency, err = concurrency.New(l); err != nil {
+		if p.concurrency, err = concurrency.New(adaptive); err != nil {
 			return err
 		}
-		s.MaxInFlight = p.concurrency.Limit()
+		maxInFlight = p.concurrency.Limit()
 	}
-	p.queue = fairqueue.New(fairqueue.Settings{InitialTimes: expect, MaxInFlight: s.MaxInFlight, Shared: p.engine.openTotal})
+	p.queue = fairqueue.New(fairqueue.Settings{InitialTimes: expected, MaxInFlight: maxInFlight, Shared: p.engine.openTotal})
 	return nil
 }
 
-// offer asks whether a call may go on. What the decision is shows in pump.
+// enqueue offers a request to the fair queue, unless its tenant is over its limit or overload control sheds it. The
+// queue's decisions are carried out by dispatchQueued.
 func (p *Pool) enqueue(now monotime.Micros, c *Call) {
 	if p.rejectOverLimit(now, c) || p.shed(now, c) {
 		return
@@ -42,11 +54,16 @@
 	if class.LateWorth == 0 {
 		until = min(until, c.ArrivedAt+class.Aim)
 	}
-	p.queue.Enqueue(now, c.Client.account, fairqueue.Request{ID: c.Request.ID, Class: int(c.Request.Class), Deadline: until, MaxWaitFraction: p.balancer.Patience(now, c.Request)})
+	p.queue.Enqueue(now, c.Client.account, fairqueue.Request{
+		ID:              c.Request.ID,
+		Class:           int(c.Request.Class),
+		Deadline:        until,
+		MaxWaitFraction: p.balancer.Patience(now, c.Request),
+	})
 	p.engine.markDirty(p)
 }
 
-// touch notes that decisions between a pool's clients may have become due.
+// markDirty notes that decisions of a pool's queue may have become due.
 func (x *Engine) markDirty(p *Pool) {
 	if !p.dirty {
 		p.dirty = true
@@ -54,12 +71,13 @@
 	}
 }
 
-// pump carries out the decisions between clients that have become due. It is called once after each event and
-// never from within one: what it does may free a place, which its next turn sees.
+// dispatchQueued carries out all decisions of queues that have become due. It is called once at the end of each event
+// and never from within one: what it does may free a slot, which it then looks at again.
 func (x *Engine) dispatchQueued(now monotime.Micros) {
 	for len(x.dirtyPools) > 0 {
-		p := x.dirtyPools[len(x.dirtyPools)-1]
-		x.dirtyPools = x.dirtyPools[:len(x.dirtyPools)-1]
+		last := len(x.dirtyPools) - 1
+		p := x.dirtyPools[last]
+		x.dirtyPools = x.dirtyPools[:last]
 		p.dirty = false
 		p.dispatchQueued(now)
 	}
@@ -71,66 +89,83 @@
 		p.queue.SetMaxInFlight(p.concurrency.Limit())
 	}
 	for {
-		d, ok := p.queue.Next(now)
+		decision, ok := p.queue.Next(now)
 		if !ok {
 			break
 		}
-		c := x.calls[d.ID]
-		if d.Action == fairqueue.Reject {
-			x.respond(c, x.rejection(d))
+		c := x.calls[decision.ID]
+		if decision.Action == fairqueue.Reject {
+			x.respond(c, x.rejection(decision))
 			continue
 		}
-		_, inFlight := p.queue.Counts()
-		c.admittedAt, c.inFlightAtAdmission, c.Request.Waited = now, inFlight, now-c.ArrivedAt
-		p.balancer.Request(now, c.Request)
+		p.admit(now, c)
 	}
-	// Whoever waits is looked at again when no answer could be in time any more.
-	if at := p.queue.NextExpiry(); at != p.queueTimerDue {
-		x.cancelTimer(p.queueTimer)
-		if p.queueTimer, p.queueTimerDue = nil, at; at != 0 {
-			p.queueTimer = x.schedule(at, func(monotime.Micros) {
-				p.queueTimerDue = 0
-				x.markDirty(p)
-			})
-		}
+	p.scheduleQueue()
+}
+
+// admit passes a request from the queue to the balancer.
+func (p *Pool) admit(now monotime.Micros, c *Call) {
+	_, inFlight := p.queue.Counts()
+	c.admittedAt = now
+	c.inFlightAtAdmission = inFlight
+	c.Request.Waited = now - c.ArrivedAt
+	p.balancer.Request(now, c.Request)
+}
+
+// scheduleQueue has the queue looked at again at the instant from which a queued request cannot be served in time any
+// more.
+func (p *Pool) scheduleQueue() {
+	due := p.queue.NextExpiry()
+	if due == p.queueTimerDue {
+		return
+	}
+	x := p.engine
+	x.cancelTimer(p.queueTimer)
+	p.queueTimer = nil
+	p.queueTimerDue = due
+	if due == 0 {
+		return
 	}
+	p.queueTimer = x.schedule(due, func(monotime.Micros) {
+		p.queueTimerDue = 0
+		x.markDirty(p)
+	})
 }
 
-// turnedAway is the answer to a request that is not admitted.
+// rejection returns the response to a request that the queue rejects.
 func (x *Engine) rejection(d fairqueue.Decision) Response {
-	a := Response{Verdict: Rejected, Reason: d.Reason.String()}
+	r := Response{Verdict: Rejected, Reason: d.Reason.String()}
 	if d.Reason == fairqueue.ClientOverRate {
-		a.Verdict = RateLimited
+		r.Verdict = RateLimited
 	}
 	limits := &x.config.Site.Settings.Limits
 	if limits.RetryAfter && d.RetryAfter > 0 {
-		// Spread, so that those turned away together do not return together.
+		// With jitter, so that clients that were rejected at the same time do not retry at the same time.
 		after := monotime.Micros(float64(d.RetryAfter) * (1 + x.rng.Float64()/2))
-		a.RetryAfter = min(after, limits.MaxRetryAfter)
+		r.RetryAfter = min(after, limits.MaxRetryAfter)
 	}
-	return a
+	return r
 }
 
-// learn takes in what a request that was served tells of how long such take.
+// observeServiceTime learns from how long a request took that was served.
 func (p *Pool) observeServiceTime(now monotime.Micros, c *Call) {
 	took := now - c.admittedAt
-	p.queue.ObserveServiceTime(int(c.Request.Class), took)
-	if p.concurrency != nil {
-		waiting, _ := p.queue.Counts()
-		p.concurrency.AddSample(now, int(c.Request.Class), took, c.inFlightAtAdmission, waiting > 0 || c.admittedAt > c.ArrivedAt+minQueueTime)
+	class := int(c.Request.Class)
+	p.queue.ObserveServiceTime(class, took)
+	if p.concurrency == nil {
+		return
 	}
+	queued, _ := p.queue.Counts()
+	limited := queued > 0 || c.admittedAt > c.ArrivedAt+minQueueTime
+	p.concurrency.AddSample(now, class, took, c.inFlightAtAdmission, limited)
 }
 
-// waitedLeast is how long a request must have been on its way to the balancer to count as one that waited for its
-// turn: less is the way from its front.
-const minQueueTime = 1000
-
-// Counts returns how many of the pool's requests wait and are in flight, and how many may be (0 is no bound that is
-// learned).
-func (p *Pool) Counts() (waiting, inFlight, slots int) {
-	waiting, inFlight = p.queue.Counts()
+// Counts returns how many of the pool's requests are queued and in flight, and how many may be in flight (0 is no bound
+// that is learned).
+func (p *Pool) Counts() (queued, inFlight, maxInFlight int) {
+	queued, inFlight = p.queue.Counts()
 	if p.concurrency != nil {
-		slots = p.concurrency.Limit()
+		maxInFlight = p.concurrency.Limit()
 	}
-	return waiting, inFlight, slots
+	return queued, inFlight, maxInFlight
 }
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -5,10 +5,21 @@
 	"dunlinsail/internal/monotime"
 )
 
-// outcome tells the balancer how an attempt ended. The first whole answer of an endpoint is the client's.
+// startDeadlineTimer has an attempt abandoned at its deadline.
+func (x *Engine) startDeadlineTimer(a *Attempt) {
+	a.deadlineTimer = x.schedule(a.Deadline, func(now monotime.Micros) { x.expireAttempt(now, a) })
+}
+
+// scheduleOutcome records an outcome as the next event of the present instant: not from within the balancer.
+func (x *Engine) scheduleOutcome(a *Attempt, status balancer.Status) {
+	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, At: now}) })
+}
+
+// recordOutcome passes the outcome of an attempt to all that learn from it, and to the balancer last. The first
+// complete response of an endpoint is the client's.
 func (x *Engine) recordOutcome(now monotime.Micros, a *Attempt, r AttemptResult) {
 	if a.done {
-		return // its time was up before this came
+		return // it was abandoned before this came
 	}
 	a.done = true
 	x.config.Host.AbortAttempt(a)
@@ -19,36 +30,53 @@
 	if r.Response != nil {
 		c.lastResult = &r
 	}
-	switch {
-	case c.finished:
-	case r.Status == balancer.OK:
+	if !c.finished && r.Status == balancer.OK {
 		c.Pool.observeServiceTime(now, c)
 		x.respond(c, Response{Verdict: Served, Result: &r, Endpoint: a.Endpoint.Name})
 	}
-	settled := c.finished
+	finished := c.finished
 	x.removeFinished(c)
-	latency := max(0, r.At-max(a.StartedAt, r.SentAt))
-	c.Pool.observeEndpointHealth(now, a.Endpoint, r.Status, latency)
-	c.Pool.observeLoad(now, -1)
-	c.Pool.observeUtilization(a.Endpoint, r.Load)
-	c.Pool.recordObservation(now, a, r.Status)
-	c.Pool.observeAttempt(now, a, r, latency)
+	latency := attemptLatency(a, &r)
+	c.Pool.observeOutcome(now, a, r, latency)
 	if o := x.config.Observer; o != nil {
 		o.AttemptEnded(now, a.Endpoint.Name, r.Status, latency)
 	}
-	c.Pool.balancer.Outcome(now, balancer.Outcome{ID: c.Request.ID, Attempt: a.Number, Endpoint: a.Endpoint.Number,
-		Status: r.Status, Latency: latency, Settled: settled, Spent: c.NotReplayable != nil && c.NotReplayable(), Load: r.Load})
+	c.Pool.balancer.Outcome(now, balancer.Outcome{
+		ID:       c.Request.ID,
+		Attempt:  a.Number,
+		Endpoint: a.Endpoint.Number,
+		Status:   r.Status,
+		Latency:  latency,
+		Settled:  finished,
+		Spent:    c.NotReplayable != nil && c.NotReplayable(),
+		Load:     r.Load,
+	})
 }
 
-// timeUp ends an attempt by our clock, whatever its connection does.
+// observeOutcome has all parts of the pool but the balancer learn from the outcome of an attempt.
+func (p *Pool) observeOutcome(now monotime.Micros, a *Attempt, r AttemptResult, latency monotime.Micros) {
+	p.observeEndpointHealth(now, a.Endpoint, r.Status, latency)
+	p.observeLoad(now, -1)
+	p.observeUtilization(a.Endpoint, r.Load)
+	p.recordObservation(now, a, r.Status)
+	p.observeAttempt(now, a, r, latency)
+}
+
+// attemptLatency is the time from when the request was sent to its result.
+func attemptLatency(a *Attempt, r *AttemptResult) monotime.Micros {
+	return max(0, r.At-max(a.StartedAt, r.SentAt))
+}
+
+// expireAttempt abandons an attempt at its deadline, whatever its connection does.
 func (x *Engine) expireAttempt(now monotime.Micros, a *Attempt) {
 	if a.done {
 		return
 	}
 	status := balancer.Timeout
 	if x.config.Host.CancelUnsent(a) {
-		// Nothing was written. Only a dial that had its whole time says something of the endpoint.
-		if status = balancer.Moot; now-a.StartedAt >= x.config.Site.Settings.Limits.DialTimeout {
+		// Nothing was written. Only a dial that had its full time is evidence against the endpoint.
+		status = balancer.Moot
+		if now-a.StartedAt >= x.config.Site.Settings.Limits.DialTimeout {
 			status = balancer.ConnectFailed
 		}
 	} else {
@@ -57,7 +85,7 @@
 	x.recordOutcome(now, a, AttemptResult{Status: status, At: now})
 }
 
-// began gives an answer that has begun to the client, if the request has none yet.
+// startResponse gives a response that has started to the client, if the request has none yet.
 func (x *Engine) startResponse(now monotime.Micros, a *Attempt, r AttemptResult) bool {
 	c := a.Call
 	if a.done || c.finished {
@@ -65,54 +93,56 @@
 	}
 	x.cancelTimer(a.deadlineTimer)
 	p := c.Pool
-	p.balancer.Headers(now, c.Request.ID, a.Number, max(0, r.At-max(a.StartedAt, r.SentAt))) // ends the others
+	p.balancer.Headers(now, c.Request.ID, a.Number, attemptLatency(a, &r)) // ends the other attempts
 	p.observeServiceTime(now, c)
 	x.respond(c, Response{Verdict: Served, Result: &r, Endpoint: a.Endpoint.Name})
-	// Its place is free for the next: what is left is bytes, and they wait for nobody's processor.
+	// The request no longer counts as in flight: the rest of the response is transfer, which takes no processor time.
 	p.queue.Done(now, c.Request.ID)
 	x.markDirty(p)
 	return true
 }
 
-// fail gives a request the answer that it failed, with what an endpoint said last.
+// failRequest responds that a request failed, with the last result that an endpoint gave.
 func (x *Engine) failRequest(c *Call) {
-	v := Failed
+	verdict := Failed
 	if c.lastTimedOut {
-		v = TimedOut
+		verdict = TimedOut
 	}
-	x.respond(c, Response{Verdict: v, Result: c.lastResult})
+	x.respond(c, Response{Verdict: verdict, Result: c.lastResult})
 }
 
-// finish gives a request its one final answer; nothing new goes out for it.
-func (x *Engine) respond(c *Call, a Response) {
-	a.Attempts, a.QueueTime = len(c.attempts), x.now-c.ArrivedAt
+// respond gives a request its one final response. No attempt is started for it any more.
+func (x *Engine) respond(c *Call, r Response) {
+	r.Attempts = len(c.attempts)
+	r.QueueTime = x.now - c.ArrivedAt
 	if c.admittedAt > 0 {
-		a.QueueTime = c.admittedAt - c.ArrivedAt
+		r.QueueTime = c.admittedAt - c.ArrivedAt
 	}
-	x.config.Host.Respond(c, a)
+	x.config.Host.Respond(c, r)
 	x.finishRequest(c)
 }
 
-// end marks a request as over and keeps in what has not gone out yet. What is kept in has ended, whether or not attempts may be
-// withdrawn that run: nobody waits for its connection any more, and nothing is held for it.
+// finishRequest marks a request as finished and cancels attempts of which nothing has been written. That holds where
+// the settings forbid to cancel running attempts, too: nobody waits for the connection of such an attempt.
 func (x *Engine) finishRequest(c *Call) {
 	c.finished = true
 	for _, a := range c.attempts {
 		if !a.done && x.config.Host.CancelUnsent(a) {
-			x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: balancer.Moot, At: now}) })
+			x.scheduleOutcome(a, balancer.Moot)
 		}
 	}
 	x.removeFinished(c)
 }
 
-// forget drops a request that is over once all its outcomes are in.
+// removeFinished removes a finished request from the table once all its attempts have outcomes.
 func (x *Engine) removeFinished(c *Call) {
-	if c.finished && c.openAttempts == 0 && x.calls[c.Request.ID] == c {
-		delete(x.calls, c.Request.ID)
-		delete(c.Client.openCalls, c.ID)
-		c.Pool.queue.Done(x.now, c.Request.ID)
-		x.markDirty(c.Pool)
-		c.Pool.openCalls--
-		c.Pool.dissolveIfIdle()
+	if !c.finished || c.openAttempts != 0 || x.calls[c.Request.ID] != c {
+		return
 	}
+	delete(x.calls, c.Request.ID)
+	delete(c.Client.openCalls, c.ID)
+	c.Pool.queue.Done(x.now, c.Request.ID)
+	x.markDirty(c.Pool)
+	c.Pool.openCalls--
+	c.Pool.dissolveIfIdle()
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -5,13 +5,15 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Reply is what came of an attempt or a probe.
+// AttemptResult is the outcome of an attempt or a probe.
 type AttemptResult struct {
-	Status   balancer.Status
-	At       monotime.Micros
-	SentAt   monotime.Micros // its latency counts from here, when the last byte of the request had gone; 0 is from its start
-	Load     []float32
-	Response any // whatever the request's front makes the client's answer of; of what is not OK it may be nil
+	Status balancer.Status
+	At     monotime.Micros // when it was known
+	SentAt monotime.Micros // when the last byte of the request was written: latency counts from here; 0 is from the start
+	Load   []float32       // the endpoint's load report, in the order of the settings; nil is none
+
+	// Response is the host's form of what the endpoint answered. It may be nil where Status is not OK.
+	Response any
 }
 
 // Verdict is how a request ended for its client.
@@ -20,66 +22,67 @@
 // The verdicts.
 const (
 	Served      Verdict = iota
-	Rejected            // trying again is harmless
-	RateLimited         // as Refused: its client asks more often than it may
-	Failed              // no such promise
-	TimedOut            // as Failed, and the last attempt ran out of time
-	DuplicateID         // not taken: another request with its id is open
+	Rejected            // a retry is harmless
+	RateLimited         // as Rejected: the client sends more requests than it may
+	Failed              // the request may have had an effect
+	TimedOut            // as Failed, and the last attempt timed out
+	DuplicateID         // not accepted: another request with this ID is open
 )
 
-// Answer is the final answer to a request.
+// Response is the final response to a request.
 type Response struct {
 	Verdict    Verdict
-	RetryAfter monotime.Micros // Refused and Limited only; 0 is no advice
-	Reason     string          // of those, for people; may be empty
-	Result     *AttemptResult  // of Served; of Refused and Failed, the last that an endpoint answered, or nil
+	RetryAfter monotime.Micros // for Rejected and RateLimited; 0 is no advice
+	Reason     string          // for Rejected and RateLimited, for people; may be empty
+	Result     *AttemptResult  // of Served; otherwise the last that an endpoint answered, or nil
 
-	Attempts  int             // that were started
-	QueueTime monotime.Micros // for its turn, before it went to the balancer
-	Endpoint  string          // that served it, by its name; "" is none
+	Attempts  int             // how many were started
+	QueueTime monotime.Micros // time in the queue before the request went to the balancer
+	Endpoint  string          // the name of the endpoint that served it; empty is none
 }
 
-// Call is a client's request on its way through the engine.
+// Call is a client's request on its way through the engine. The exported fields are set before Engine.Submit.
 type Call struct {
 	Client    *Client
-	Pool      *Pool            // whose endpoints it may go to
-	ID        string           // the client's
-	Request   balancer.Request // but for the ID, which the engine gives
-	ArrivedAt monotime.Micros  // when the request was whole
-	HostData  any              // the host's own
+	Pool      *Pool            // the pool of endpoints that may serve it
+	ID        string           // the client's ID of the request, unique among its open requests
+	Request   balancer.Request // the engine sets its ID
+	ArrivedAt monotime.Micros  // when the request was received completely
+	HostData  any              // for the host's use
 
-	// Spent says whether a part of the request has gone out that cannot be shown again: then no further attempt is
-	// made. nil is never.
+	// NotReplayable reports whether a part of the request was sent that cannot be sent again: then no further attempt
+	// is made. nil is never.
 	NotReplayable func() bool
 
 	admittedAt          monotime.Micros // when it went to the balancer; 0 before
 	inFlightAtAdmission int             // requests in flight then, itself included
 	attempts            []*Attempt
-	openAttempts        int // attempts without outcome
+	openAttempts        int // attempts without an outcome
 	finished            bool
-	lastTimedOut        bool           // the last outcome was a time-out
-	lastResult          *AttemptResult // the last that an endpoint answered
+	lastTimedOut        bool           // the latest outcome was a timeout
+	lastResult          *AttemptResult // the latest that carried an endpoint's response
 }
 
-// Ended says whether the call has its final answer, or needs none.
+// Finished reports whether the call has its final response, or needs none.
 func (c *Call) Finished() bool { return c.finished }
 
-// Attempts returns how many attempts have been started for the call.
+// AttemptCount returns how many attempts have been started for the call.
 func (c *Call) AttemptCount() int { return len(c.attempts) }
 
-// Attempt is one send of a request. Its host reports its end once; the engine tells the balancer once.
+// Attempt is one send of a request to an endpoint. The host reports its end once, and the engine passes it to the
+// balancer once.
 type Attempt struct {
 	Call       *Call
-	Number     int // among the call's, from 0
+	Number     int // among the call's attempts, from 0
 	Endpoint   *Endpoint
 	StartedAt  monotime.Micros
-	Deadline   monotime.Micros // nothing of it is waited for from then on
-	SendBefore monotime.Micros // its first byte may not go out from then on; 0 is no such instant
-	HostData   any             // the host's own
+	Deadline   monotime.Micros // the attempt is abandoned at this instant
+	SendBefore monotime.Micros // the first byte must be written before this instant; 0 is no such bound
+	HostData   any             // for the host's use
 
 	deadlineTimer *timer
-	done          bool // the balancer knows the outcome
+	done          bool // the balancer has the outcome
 }
 
-// Done says whether the balancer knows the attempt's outcome: what its host still has of it is for nobody.
+// Done reports whether the balancer has the attempt's outcome: nobody needs what the host still receives for it.
 func (a *Attempt) Done() bool { return a.done }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -1,27 +1,25 @@
 package engine
 
-import (
-	"dunlinsail/internal/decide/fairqueue"
-)
+import "dunlinsail/internal/decide/fairqueue"
 
-// Client is whose requests are shared out together, and whose ids must differ while they are open. It belongs to its
-// engine.
+// Client is a source of requests. Its requests share one account of the fair queue, and their IDs must differ while
+// they are open. It belongs to one engine, and is not safe for concurrent use.
 type Client struct {
 	account   *fairqueue.Client
-	openCalls map[string]*Call // owned by the engine
+	openCalls map[string]*Call // by the client's request ID; owned by the engine
 }
 
-// NewClient returns a client, or the error of a spec that makes no sense.
-func NewClient(s fairqueue.ClientSpec) (*Client, error) {
-	account, err := fairqueue.NewClient(s)
+// NewClient returns a client, or an error if the spec is invalid.
+func NewClient(spec fairqueue.ClientSpec) (*Client, error) {
+	account, err := fairqueue.NewClient(spec)
 	if err != nil {
 		return nil, err
 	}
 	return &Client{account: account, openCalls: map[string]*Call{}}, nil
 }
 
-// Open returns how many of the client's calls are not forgotten yet.
+// OpenCalls returns how many of the client's calls are in the request table.
 func (c *Client) OpenCalls() int { return len(c.openCalls) }
 
-// Change gives a client another spec, or returns the error of one that makes no sense; what it has open stays open.
-func (c *Client) SetSpec(s fairqueue.ClientSpec) error { return c.account.Update(s) }
+// SetSpec changes a client's spec, or returns an error if that is invalid. Open requests are not affected.
+func (c *Client) SetSpec(spec fairqueue.ClientSpec) error { return c.account.Update(spec) }
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/observations"
@@ -11,206 +10,251 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Together is what an engine needs to decide with the other instances of its fleet.
+// Coordination is what an engine needs to decide together with the other instances of its fleet.
 type Coordination struct {
-	Fleet           coordination.Settings
-	Scope           CoordinationScope
-	Send            func(to string, w coordination.Word) // carries a word; must not wait, and must not call the engine
-	NextIncarnation func() uint64                        // a number at each call that no other process of the name ever had
+	Fleet coordination.Settings
+	Scope CoordinationScope
+
+	// Send sends a gossip message to an instance. It must not block, and must not call the engine.
+	Send func(to string, message coordination.Word)
+	// NextIncarnation returns a number that no other process of the instance's name ever had, another at each call.
+	NextIncarnation func() uint64
 }
 
-// Uses says what is decided with the others.
+// CoordinationScope says what is decided together with the other instances.
 type CoordinationScope struct {
-	Retries            bool // further attempts: lent, where the overload is decided
-	Probes             bool // probes, the same
-	TenantLimits       bool // tenants' limits
-	OverloadLevel      bool // how much is turned away under overload
-	SuspectedEndpoints bool // which endpoints are better left out
+	Retries            bool // retries beyond the instance's own reserve are of a fleet budget. Needs overload control
+	Probes             bool // the same of probes
+	TenantLimits       bool // tenants' request rates
+	OverloadLevel      bool // how much is shed under overload
+	SuspectedEndpoints bool // which endpoints to avoid, by the failures that all instances have seen
 }
 
-// together is an engine's part in its fleet.
+// fleetCoordinator is an engine's part in its fleet.
 type fleetCoordinator struct {
 	Coordination
 	member            *coordination.Member
 	localObservations observations.Local
-	timer             *timer
-	suspicions        map[suspectKey]float64 // what was told last
-	tenantBudgets     []string               // budgets of the tenants, in their order; empty is of one without a limit
+	timer             *timer                 // for the member's next tick
+	suspicions        map[suspectKey]float64 // by what all instances have seen: the probability that it fails
+	tenantBudgets     []string               // budget names by tenant; empty is a tenant without a limit
 	requestsOverLimit uint64                 // requests beyond their tenant's limit
 }
 
-// suspect is a class of requests at an endpoint, by the name that instances tell one another.
+// suspectKey is a class of requests at an endpoint, by the endpoint's name among instances (Pool.observationKey).
 type suspectKey struct {
 	endpoint string
 	class    int
 }
 
-// Join has the engine decide with its fleet from BeginFleet or a Restore of what GiveFleet returned on, or returns the error of settings that make no sense. It
-// goes before the first pool.
-func (x *Engine) JoinFleet(t Coordination) error {
-	m, err := coordination.New(t.Fleet)
+// maxObservedCounts is how many counts a message carries at most: a datagram must hold it.
+const maxObservedCounts = 32
+
+// Static division of tenants' limits, where there is no fleet to divide them: the lease that an instance grants itself.
+const (
+	staticLeaseInterval = monotime.Second
+	staticLeaseLength   = 4 * monotime.Second
+)
+
+// JoinFleet has the engine decide together with its fleet once StartCoordination or a Restore has begun that. It
+// returns an error for invalid settings. It must be called before the first pool is made.
+func (x *Engine) JoinFleet(c Coordination) error {
+	member, err := coordination.New(c.Fleet)
 	if err != nil {
 		return err
 	}
-	x.fleet = &fleetCoordinator{Coordination: t, member: m, suspicions: map[suspectKey]float64{}}
-	m.Sees(x.observe)
+	x.fleet = &fleetCoordinator{Coordination: c, member: member, suspicions: map[suspectKey]float64{}}
+	member.Sees(x.observe)
 	site := x.config.Site
 	x.fleet.tenantBudgets = make([]string, len(site.Tenants))
 	for i, limit := range site.TenantLimits {
 		if limit > 0 {
-			x.fleet.tenantBudgets[i] = "tenant/" + site.Tenants[i]
-			m.Budget(x.fleet.tenantBudgets[i], limit, false)
+			x.fleet.tenantBudgets[i] = tenantBudgetPrefix + site.Tenants[i]
+			member.Budget(x.fleet.tenantBudgets[i], limit, false)
 		}
 	}
 	return nil
 }
 
-// alone divides tenants' limits by number and place, where nothing is decided with the others.
+// divideLimitsStatically divides tenants' limits by the number of instances and the instance's position among them, as
+// long as no fleet is joined.
 func (x *Engine) divideLimitsStatically() {
-	s := &x.config.Site.Settings
-	if !slices.ContainsFunc(x.config.Site.TenantLimits, func(v float64) bool { return v > 0 }) {
+	if !slices.ContainsFunc(x.config.Site.TenantLimits, func(limit float64) bool { return limit > 0 }) {
 		return
 	}
-	err := x.JoinFleet(Coordination{Fleet: coordination.Settings{Loans: quota.Settings{MaxInstances: max(1, s.Balancers), Position: s.Position, Reserve: 1, RequestInterval: second, LeaseDuration: 4 * second}},
-		Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 1 }})
+	settings := &x.config.Site.Settings
+	err := x.JoinFleet(Coordination{
+		Fleet: coordination.Settings{Loans: quota.Settings{
+			MaxInstances:    max(1, settings.Balancers),
+			Position:        settings.Position,
+			Reserve:         1,
+			RequestInterval: staticLeaseInterval,
+			LeaseDuration:   staticLeaseLength,
+		}},
+		Send:            func(string, coordination.Word) {},
+		NextIncarnation: func() uint64 { return 1 },
+	})
 	if err != nil {
-		panic(err) // of our own settings
+		panic(err) // the settings are ours
 	}
 }
 
-// BeginFleet begins the engine's part in its fleet, as one that no other of its name is beside. It does nothing where that has
-// begun, or where there is no fleet.
+// StartCoordination starts the engine's part in its fleet, as an instance without a predecessor. It does nothing if
+// that has started, or without a fleet.
 func (x *Engine) StartCoordination(now monotime.Micros) {
-	if t := x.fleet; t != nil && !t.member.Begun() {
-		x.now = now
-		t.member.Begin(now, t.NextIncarnation())
-		x.syncCoordinator(now)
+	f := x.fleet
+	if f == nil || f.member.Begun() {
+		return
 	}
+	x.now = now
+	f.member.Begin(now, f.NextIncarnation())
+	x.syncCoordinator(now)
 }
 
-// Word takes a word of another instance in.
-func (x *Engine) ReceiveFleetMessage(now monotime.Micros, from string, w coordination.Word) {
-	if t := x.fleet; t != nil {
-		x.now = now
-		t.member.Hear(now, from, w)
-		x.syncCoordinator(now)
-		x.dispatchQueued(now)
+// ReceiveFleetMessage handles a gossip message of another instance.
+func (x *Engine) ReceiveFleetMessage(now monotime.Micros, from string, message coordination.Word) {
+	f := x.fleet
+	if f == nil {
+		return
 	}
+	x.now = now
+	f.member.Hear(now, from, message)
+	x.syncCoordinator(now)
+	x.dispatchQueued(now)
 }
 
-// GiveFleet leaves the engine's part in its fleet to one that takes its place, and returns what that has to know; nil is nothing.
+// HandOverCoordination ends the engine's part in its fleet in favour of a successor, and returns what that has to know;
+// nil is nothing.
 func (x *Engine) HandOverCoordination(now monotime.Micros) *quota.State {
-	t := x.fleet
-	if t == nil || !t.member.Begun() {
+	f := x.fleet
+	if f == nil || !f.member.Begun() {
 		return nil
 	}
 	x.now = now
-	s := t.member.Give(now)
+	state := f.member.Give(now)
 	x.syncCoordinator(now)
-	return s
+	return state
 }
 
-// RestoreFleet takes the place of another engine that left off so long ago.
-func (x *Engine) RestoreCoordination(now, age monotime.Micros, s *quota.State) {
-	if t := x.fleet; t != nil && s != nil && !t.member.Begun() {
-		x.now = now
-		t.member.Restore(now, age, t.NextIncarnation(), s)
-		x.syncCoordinator(now)
+// RestoreCoordination takes the part of another engine that handed it over so long ago. It does nothing if the engine's
+// own part has started.
+func (x *Engine) RestoreCoordination(now, age monotime.Micros, state *quota.State) {
+	f := x.fleet
+	if f == nil || state == nil || f.member.Begun() {
+		return
 	}
+	x.now = now
+	f.member.Restore(now, age, f.NextIncarnation(), state)
+	x.syncCoordinator(now)
 }
 
-// FleetView returns what is known of the fleet; no where there is none.
-func (x *Engine) FleetView(now monotime.Micros) (v coordination.View, yes bool) {
+// FleetView returns what is known of the fleet; ok is false without one.
+func (x *Engine) FleetView(now monotime.Micros) (view coordination.View, ok bool) {
 	if x.fleet == nil {
-		return v, false
+		return view, false
 	}
 	return x.fleet.member.View(now), true
 }
 
-// settle carries the member's words, takes in what all have seen, and has it woken in time.
+// syncCoordinator does what the fleet member has become due to do: it sends its messages, applies new observations and
+// sets the timer for its next tick.
 func (x *Engine) syncCoordinator(now monotime.Micros) {
-	t := x.fleet
-	for _, o := range t.member.Out() {
-		t.Send(o.To, o.Word)
+	f := x.fleet
+	for _, out := range f.member.Out() {
+		f.Send(out.To, out.Word)
 	}
-	if all, news := t.member.Told(now); news {
+	if all, changed := f.member.Told(now); changed {
 		x.applyObservations(now, &all)
 	}
-	if !t.member.Begun() {
-		x.cancelTimer(t.timer)
+	if !f.member.Begun() {
+		x.cancelTimer(f.timer)
 		return
 	}
-	if at := t.member.Next(); t.timer == nil || t.timer.index < 0 || at != t.timer.due {
-		x.cancelTimer(t.timer)
-		t.timer = x.schedule(max(at, now+1), func(now monotime.Micros) {
-			t.member.Tick(now)
+	if due := f.member.Next(); !f.timer.pending() || due != f.timer.due {
+		x.cancelTimer(f.timer)
+		f.timer = x.schedule(max(due, now+1), func(now monotime.Micros) {
+			f.member.Tick(now)
 			x.syncCoordinator(now)
 		})
 	}
 }
 
-// countsMost is how many counts a word has at most: a datagram is to hold it.
-const maxObservedCounts = 32
-
-// sees is what this instance has seen, with what it adds to the budgets that are earned.
-func (x *Engine) observe(now monotime.Micros) (s observations.Observations) {
-	t := x.fleet
+// observe returns what this instance has observed, for the others, and updates the budgets that its requests earn.
+func (x *Engine) observe(now monotime.Micros) (seen observations.Observations) {
+	f := x.fleet
 	for _, p := range x.pools {
-		l := p.overload
-		if l == nil {
+		o := p.overload
+		if o == nil {
 			continue
 		}
-		own, all := l.control.EarnedRetryRate(now)
-		t.member.Earn(p.budgetName("further"), own, all)
-		if t.Scope.Probes {
-			t.member.Budget(p.budgetName("probes"), l.control.FleetProbeRate(), false)
+		own, all := o.control.EarnedRetryRate(now)
+		f.member.Earn(p.budgetName(retryBudget), own, all)
+		if f.Scope.Probes {
+			f.member.Budget(p.budgetName(probeBudget), o.control.FleetProbeRate(), false)
 		}
-		if t.Scope.OverloadLevel {
-			level, load, asked, vain := l.control.TakeObservations()
-			s.Levels = append(s.Levels, observations.OverloadLevel{EndpointSet: p.name, Level: level, Load: load, Requests: float64(asked), Failed: float64(vain)})
+		if f.Scope.OverloadLevel {
+			level, load, requested, failed := o.control.TakeObservations()
+			seen.Levels = append(seen.Levels, observations.OverloadLevel{
+				EndpointSet: p.name,
+				Level:       level,
+				Load:        load,
+				Requests:    float64(requested),
+				Failed:      float64(failed),
+			})
 		}
 		p.updateFleetShare(now)
 	}
-	if t.Scope.SuspectedEndpoints {
-		s.Outcomes = t.localObservations.Outcomes(now, maxObservedCounts)
+	if f.Scope.SuspectedEndpoints {
+		seen.Outcomes = f.localObservations.Outcomes(now, maxObservedCounts)
 	}
-	return s
+	return seen
 }
 
-// told takes in what all have seen.
+// applyObservations applies what all instances have observed.
 func (x *Engine) applyObservations(now monotime.Micros, all *observations.Aggregate) {
-	t := x.fleet
-	fresh := map[suspectKey]float64{}
+	f := x.fleet
+	suspicions := map[suspectKey]float64{}
 	for _, s := range all.Suspects {
-		fresh[suspectKey{s.Endpoint, s.Class}] = s.AvoidProbability
+		suspicions[suspectKey{s.Endpoint, s.Class}] = s.AvoidProbability
 	}
 	for _, p := range x.pools {
-		if l := p.overload; l != nil && t.Scope.OverloadLevel {
-			for _, of := range all.Levels {
-				if of.EndpointSet == p.name {
-					l.control.ApplySharedLevel(now, of.Level, of.Load)
-				}
-			}
-			p.updateFleetShare(now)
-			p.refreshBounds(now)
+		if p.overload != nil && f.Scope.OverloadLevel {
+			p.applyLevels(now, all.Levels)
+		}
+		p.applySuspicions(now, suspicions)
+	}
+	f.suspicions = suspicions
+}
+
+// applyLevels passes the overload levels of the other instances to the pool's overload control.
+func (p *Pool) applyLevels(now monotime.Micros, levels []observations.OverloadLevel) {
+	for _, level := range levels {
+		if level.EndpointSet == p.name {
+			p.overload.control.ApplySharedLevel(now, level.Level, level.Load)
 		}
-		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in their order: what is left to chance must not depend on a map's
-			e := p.byName[name]
-			for class := range x.config.Site.Settings.Classes {
-				key := suspectKey{p.observationKey(name), class}
-				if chance := fresh[key]; chance != t.suspicions[key] {
-					p.balancer.Suspect(now, e.Number, class, chance)
-				}
+	}
+	p.updateFleetShare(now)
+	p.refreshBounds(now)
+}
+
+// applySuspicions tells the balancer of each suspicion that has changed.
+func (p *Pool) applySuspicions(now monotime.Micros, suspicions map[suspectKey]float64) {
+	f := p.engine.fleet
+	for _, name := range slices.Sorted(maps.Keys(p.byName)) { // sorted: random draws must not depend on map order
+		e := p.byName[name]
+		for class := range p.engine.config.Site.Settings.Classes {
+			key := suspectKey{p.observationKey(name), class}
+			if probability := suspicions[key]; probability != f.suspicions[key] {
+				p.balancer.Suspect(now, e.Number, class, probability)
 			}
 		}
 	}
-	t.suspicions = fresh
 }
 
-// evidenceOf is the name by which instances tell one another of a pool's endpoint.
-func (p *Pool) observationKey(name string) string {
+// observationKey is the name that instances use among one another for an endpoint of the pool.
+func (p *Pool) observationKey(endpoint string) string {
 	if p.name == "" {
-		return name
+		return endpoint
 	}
-	return strings.Join([]string{p.name, name}, "/")
+	return p.name + "/" + endpoint
 }
--- a/internal/engine/cordon.go
+++ b/internal/engine/cordon.go
@@ -6,54 +6,57 @@
 	"dunlinsail/internal/monotime"
 )
 
-// ByHand takes an endpoint out of all pools that have it, or lets it in again; at is the instant on the clock of words,
-// which all who exchange them read alike. known is false for a name that nobody has: then nothing is changed, and there is
-// no word. A name that is out is known whether or not a list has it.
-func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (w cordon.Word, known bool) {
+// SetCordon takes an endpoint out of service in all pools that list it, or lets it back in. The instant at is on the
+// clock of cordons, which all processes that exchange them share. It returns the cordon that was set; known is false,
+// and nothing is changed, for a name that no pool lists and that is not cordoned.
+func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (entry cordon.Word, known bool) {
 	for _, p := range x.pools {
 		known = known || p.listsEndpoint(name)
 	}
 	if !known && !x.cordons.Out(name) {
 		return cordon.Word{}, false
 	}
-	w = cordon.Word{Name: name, Out: out, At: max(at, x.cordons.Latest(name)+1)}
-	x.ReceiveCordon(now, w)
-	return w, true
+	entry = cordon.Word{Name: name, Out: out, At: max(at, x.cordons.Latest(name)+1)}
+	x.ReceiveCordon(now, entry)
+	return entry, true
 }
 
-// Hear takes a word in that was said here or elsewhere.
-func (x *Engine) ReceiveCordon(now monotime.Micros, w cordon.Word) {
+// ReceiveCordon applies a cordon that was set here or in another process. One that is older than the latest of its
+// endpoint changes nothing.
+func (x *Engine) ReceiveCordon(now monotime.Micros, entry cordon.Word) {
 	x.now = now
-	if !x.cordons.Say(w) {
+	if !x.cordons.Say(entry) {
 		return
 	}
-	x.config.Host.Log("endpoint by hand", "endpoint", w.Name, "out", w.Out)
+	x.config.Host.Log("endpoint cordon changed", "endpoint", entry.Name, "out", entry.Out)
 	for _, p := range x.pools {
-		if e := p.byName[w.Name]; e != nil {
-			p.applyExclusion(now, w.Name, e)
+		if e := p.byName[entry.Name]; e != nil {
+			p.applyExclusion(now, entry.Name, e)
 		}
 		p.updateEndpointCount()
 	}
 	x.dispatchQueued(now)
 }
 
-// Words returns the words on endpoints by hand, for another that is to hold the same.
+// Cordons returns all cordons, for another process that is to hold the same.
 func (x *Engine) Cordons() []cordon.Word { return x.cordons.Words() }
 
-// ban has the balancer obey, and keeps in what waits for a connection.
-func (p *Pool) setExcluded(now monotime.Micros, e *Endpoint, out bool) {
-	if e.excluded == out {
+// setExcluded has the balancer send nothing more to an endpoint, or lets it send there again. Attempts that wait for a
+// connection are stopped, too.
+func (p *Pool) setExcluded(now monotime.Micros, e *Endpoint, excluded bool) {
+	if e.excluded == excluded {
 		return
 	}
-	if e.excluded = out; out {
+	e.excluded = excluded
+	if excluded {
 		e.stopSendingAt.Store(max(1, now))
 	} else if e.state == balancer.Ready {
 		e.stopSendingAt.Store(0)
 	}
-	p.balancer.Ban(now, e.Number, out)
+	p.balancer.Ban(now, e.Number, excluded)
 }
 
-// has says whether the pool's list has a name.
+// listsEndpoint reports whether the pool's endpoint list has a name.
 func (p *Pool) listsEndpoint(name string) bool {
 	if p.subset != nil {
 		_, listed := p.subset.endpoints[name]
--- a/internal/engine/cordon_test.go
+++ b/internal/engine/cordon_test.go
@@ -10,81 +10,129 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Whatever is told, handed over or said in between, nothing new goes to what is out: lists in which a name drains, leaves, comes
-// back or moves, words that come from elsewhere and twice, and another engine that takes over.
-func TestNothingGoesToWhatIsOut(t *testing.T) {
+// cordonRun is an instance whose endpoints are cordoned and changed at random.
+type cordonRun struct {
+	seed       uint64
+	rng        *rand.Rand
+	host       *answeringHost
+	client     *Client
+	list       []EndpointInfo
+	now        monotime.Micros
+	generation int64
+	cordoned   map[string]bool
+	cordons    []cordon.Word // all that were set
+}
+
+// updateList passes the endpoint list to the engine.
+func (r *cordonRun) updateList() {
+	r.generation++
+	update := EndpointUpdate{Kind: balancer.ListFull, Generation: r.generation, Endpoints: r.list}
+	r.host.pool.UpdateEndpoints(r.now, update)
+}
+
+// setCordon cordons an endpoint, or lets it back in.
+func (r *cordonRun) setCordon(t *testing.T, name string) {
+	t.Helper()
+	out := r.rng.IntN(3) > 0
+	cordon, known := r.host.engine.SetCordon(r.now, name, out, r.now)
+	if listed := r.host.pool.byName[name] != nil; known != (listed || r.cordoned[name]) {
+		t.Fatalf("seed %d: known %v; listed %v, cordoned %v", r.seed, known, listed, r.cordoned[name])
+	}
+	if known {
+		r.cordons = append(r.cordons, cordon)
+		r.cordoned[name] = out
+	}
+}
+
+// replaceEngine has another engine take over from a snapshot.
+func (r *cordonRun) replaceEngine(t *testing.T) {
+	t.Helper()
+	s := r.host.engine.Snapshot(r.now)
+	r.host, r.client, _ = newInstance(t, nil)
+	r.host.run(r.client, r.now-monotime.Second, 0, 0)
+	r.host.pool.UpdateEndpoints(r.now, EndpointUpdate{Kind: balancer.ListFull, Generation: 0, Endpoints: nil})
+	r.host.engine.Restore(r.now, 0, s)
+}
+
+// step makes one change at random.
+func (r *cordonRun) step(t *testing.T) {
+	t.Helper()
+	i := r.rng.IntN(len(r.list))
+	switch name := r.list[i].Name; r.rng.IntN(6) {
+	case 0, 1:
+		r.setCordon(t, name)
+	case 2:
+		r.list[i].State = balancer.State(r.rng.IntN(3))
+		r.updateList()
+	case 3:
+		r.list[i].Addr = fmt.Sprintf("10.1.0.%d:80", r.rng.IntN(200))
+		r.list[i].State = balancer.Ready
+		r.updateList()
+	case 4: // old cordons, once more
+		for _, cordon := range r.cordons {
+			r.host.engine.ReceiveCordon(r.now, cordon)
+		}
+	case 5:
+		if r.rng.IntN(4) == 0 {
+			r.replaceEngine(t)
+		}
+	}
+}
+
+// check submits requests, and fails if one goes to a cordoned endpoint.
+func (r *cordonRun) check(t *testing.T) {
+	t.Helper()
+	clear(r.host.attempts)
+	r.now = r.host.run(r.client, r.now, 6, monotime.Second/50)
+	for name := range r.host.attempts {
+		if r.cordoned[name] {
+			t.Fatalf("seed %d: %s got an attempt while cordoned", r.seed, name)
+		}
+	}
+	for name, e := range r.host.pool.byName {
+		cordoned := r.cordoned[name]
+		if e.excluded != cordoned || cordoned && e.MaySend(r.now) {
+			t.Fatalf("seed %d: %s excluded %v, may send %v; want cordoned %v",
+				r.seed, name, e.excluded, e.MaySend(r.now), cordoned)
+		}
+	}
+}
+
+// A cordoned endpoint gets no request through list updates in which it drains, leaves, comes back or moves, cordons
+// that arrive again, and another engine that takes over.
+func TestCordonedEndpointGetsNoRequest(t *testing.T) {
 	for seed := range uint64(20) {
-		rng := rand.New(rand.NewPCG(seed, 7))
-		h, c, list := instance(t, nil)
-		list = list[:6]
-		now, generation := monotime.Micros(1_000*second), int64(1)
-		tell := func() {
-			generation++
-			h.p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListFull, Generation: generation, Endpoints: list})
+		h, c, list := newInstance(t, nil)
+		r := &cordonRun{
+			seed:       seed,
+			rng:        rand.New(rand.NewPCG(seed, 7)),
+			host:       h,
+			client:     c,
+			list:       list[:6],
+			now:        1_000 * monotime.Second,
+			generation: 1,
+			cordoned:   map[string]bool{},
 		}
-		tell()
-		out := map[string]bool{}
-		var words []cordon.Word
+		r.updateList()
 		for range 60 {
-			i := rng.IntN(len(list))
-			switch name := list[i].Name; rng.IntN(6) {
-			case 0, 1:
-				yes := rng.IntN(3) > 0
-				w, known := h.x.SetCordon(now, name, yes, now)
-				if has := h.p.byName[name] != nil; known != (has || out[name]) {
-					t.Fatalf("seed %d: known %v; listed %v, out %v", seed, known, has, out[name])
-				}
-				if known {
-					words, out[name] = append(words, w), yes
-				}
-			case 2:
-				list[i].State = balancer.State(rng.IntN(3))
-				tell()
-			case 3:
-				list[i].Addr, list[i].State = fmt.Sprintf("10.1.0.%d:80", rng.IntN(200)), balancer.Ready
-				tell()
-			case 4: // old news, again
-				for _, w := range words {
-					h.x.ReceiveCordon(now, w)
-				}
-			case 5:
-				if rng.IntN(4) > 0 {
-					break
-				}
-				s := h.x.Snapshot(now)
-				h, c, _ = instance(t, nil)
-				h.run(c, now-second, 0, 0)
-				h.p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListFull, Generation: 0, Endpoints: nil})
-				h.x.Restore(now, 0, s)
-			}
-			clear(h.to)
-			now = h.run(c, now, 6, second/50)
-			for name := range h.to {
-				if out[name] {
-					t.Fatalf("seed %d: %s got an attempt while out", seed, name)
-				}
-			}
-			for name, e := range h.p.byName {
-				if e.excluded != out[name] || out[name] && e.MaySend(now) {
-					t.Fatalf("seed %d: %s banned %v, may send %v; want out %v", seed, name, e.excluded, e.MaySend(now), out[name])
-				}
-			}
+			r.step(t)
+			r.check(t)
 		}
 	}
-	h, _, _ := instance(t, nil)
-	if _, known := h.x.SetCordon(1_000*second, "s-nobody", true, 1); known || len(h.x.Cordons()) != 0 {
-		t.Errorf("an id that nobody has: known %v, words %v", known, h.x.Cordons())
+	h, _, _ := newInstance(t, nil)
+	if _, known := h.engine.SetCordon(1_000*monotime.Second, "s-nobody", true, 1); known || len(h.engine.Cordons()) != 0 {
+		t.Errorf("an endpoint that is not listed: known %v, cordons %v", known, h.engine.Cordons())
 	}
 }
 
-// The figures speak of the list and of what is avoided.
-func TestFigures(t *testing.T) {
-	h, _, _ := instance(t, nil)
-	h.x.SetCordon(1_000*second, "s-3", true, 1)
-	h.x.SetCordon(1_000*second, "s-3", true, 2)
-	h.x.SetCordon(1_000*second, "s-4", true, 3)
-	h.x.SetCordon(1_000*second, "s-4", false, 4)
-	if f := h.x.Statistics(1_000 * second); f != (Statistics{ListedEndpoints: 60, AvoidedEndpoints: 1}) {
-		t.Errorf("%+v", f)
+// The statistics count the listed endpoints and those that are avoided.
+func TestStatisticsCountListedAndAvoidedEndpoints(t *testing.T) {
+	h, _, _ := newInstance(t, nil)
+	h.engine.SetCordon(1_000*monotime.Second, "s-3", true, 1)
+	h.engine.SetCordon(1_000*monotime.Second, "s-3", true, 2)
+	h.engine.SetCordon(1_000*monotime.Second, "s-4", true, 3)
+	h.engine.SetCordon(1_000*monotime.Second, "s-4", false, 4)
+	if s := h.engine.Statistics(1_000 * monotime.Second); s != (Statistics{ListedEndpoints: 60, AvoidedEndpoints: 1}) {
+		t.Errorf("%+v", s)
 	}
 }
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -8,145 +8,166 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Members tells news of the list.
-func (p *Pool) UpdateEndpoints(now monotime.Micros, told EndpointUpdate) {
-	if p.dissolved {
-		return
-	}
-	p.engine.now = now
-	p.applyUpdate(now, told)
-	p.engine.dispatchQueued(now)
-}
-
-// Endpoint is an entry of the list.
+// Endpoint is an endpoint that the balancer of a pool knows. It belongs to its engine, but for MaySend.
 type Endpoint struct {
-	Number        uint32 // for the balancer
-	Name          string
-	Addr          string
-	Target        Target // of the address
+	Number uint32 // the balancer's ID of it
+	Name   string
+	Addr   string
+	Target Target // for Addr
+
 	state         balancer.State
-	excluded      bool         // out by hand, or by order
-	utilization   float64      // how busy it says that it is, 0 to 1, on the mean
-	stopSendingAt atomic.Int64 // nothing new goes out from this instant on; 0: no such instant. Attempts read it
+	excluded      bool         // cordoned, or stopped by the maintenance plan
+	utilization   float64      // moving average of what it reports, 0 to 1
+	stopSendingAt atomic.Int64 // nothing is sent from this instant on; 0 is no such instant. Attempts read it
 }
 
-// MaySend says whether the first byte of an attempt may still go out: an endpoint that drains gets nothing new past the
-// grace, and connecting may have outlasted it. It may be called beside the engine.
+// MaySend reports whether the first byte of an attempt may still be written: a draining endpoint gets no new request
+// after the drain grace, which a slow dial may have outlasted. It is safe for concurrent use.
 func (e *Endpoint) MaySend(now monotime.Micros) bool {
 	stop := e.stopSendingAt.Load()
 	return stop == 0 || now < stop
 }
 
-// graceMargin is kept from the grace for drains: the send's first byte must arrive within it.
+// drainGraceMargin is kept from the drain grace: the first byte of a request must have arrived within the grace.
 const drainGraceMargin = 50_000
 
-// Member is an entry of the list of endpoints, with names where the balancer has numbers.
+// EndpointInfo is an entry of an endpoint list, with names where the balancer has numbers.
 type EndpointInfo struct {
 	Name      string          `json:"Name"`
-	Addr      string          `json:"Addr"` // may be empty for what is gone
+	Addr      string          `json:"Addr"` // may be empty with balancer.Gone
 	Zone      string          `json:"Zone"`
 	Kind      string          `json:"Kind"`
 	Cell      uint16          `json:"Cell"`
 	State     balancer.State  `json:"State"`
 	Weight    float32         `json:"Weight"`
-	StartedAt monotime.Micros `json:"Started"` // Unix time of its latest start; 0 for long ago
+	StartedAt monotime.Micros `json:"Started"` // Unix time of its latest start; 0 is long ago
 }
 
-// Told is news of the list of endpoints. The generations of one discovery only grow.
+// EndpointUpdate is an update of an endpoint list. The generations of one source only grow.
 type EndpointUpdate struct {
 	Kind             balancer.ListKind
 	Generation       int64
-	NewSource        bool // it comes from another discovery, whose generations are its own
-	GenerationsReset bool // with Anew: it is the same discovery, whose generations have begun anew
+	NewSource        bool // it comes from another source, with generations of its own
+	GenerationsReset bool // with NewSource: it is the same source, but its generations have started anew
 	Endpoints        []EndpointInfo
 }
 
-// members passes news of the list on, with names turned into numbers. What is older than the list held is passed
-// over: it would bring back endpoints that are known to be draining.
-func (p *Pool) applyUpdate(now monotime.Micros, told EndpointUpdate) {
-	if told.Kind == balancer.ListFailed {
-		p.balancer.Members(now, told.Kind, nil)
+// unknownIndex stands for a zone or kind that the settings do not name.
+const unknownIndex = 255
+
+// UpdateEndpoints applies an update of the endpoint list. One that is older than the current list is ignored.
+func (p *Pool) UpdateEndpoints(now monotime.Micros, update EndpointUpdate) {
+	if p.dissolved {
 		return
 	}
-	if told.Generation < p.generation && !told.NewSource {
-		p.engine.config.Host.Warn("stale list passed over", "pool", p.name, "generation", told.Generation, "have", p.generation)
+	p.engine.now = now
+	p.applyUpdate(now, update)
+	p.engine.dispatchQueued(now)
+}
+
+// applyUpdate applies an update. An old one would bring back endpoints that are known to be draining.
+func (p *Pool) applyUpdate(now monotime.Micros, update EndpointUpdate) {
+	if update.Kind == balancer.ListFailed {
+		p.balancer.Members(now, update.Kind, nil)
 		return
 	}
-	p.generation = told.Generation
+	if update.Generation < p.generation && !update.NewSource {
+		p.engine.config.Host.Warn("stale endpoint list ignored",
+			"pool", p.name, "generation", update.Generation, "have", p.generation)
+		return
+	}
+	p.generation = update.Generation
 	if o := p.engine.config.Observer; o != nil {
-		o.EndpointsUpdated(now, told)
+		o.EndpointsUpdated(now, update)
 	}
-	if p.subset != nil {
-		told = p.subset.applyUpdate(now, told)
-		defer p.scheduleSubsetStep()
+	if p.subset == nil {
+		p.updateBalancer(now, update)
+		return
 	}
-	p.updateBalancer(now, told)
+	p.updateBalancer(now, p.subset.applyUpdate(now, update))
+	p.scheduleSubsetStep()
 }
 
-// apply tells the balancer of endpoints.
-func (p *Pool) updateBalancer(now monotime.Micros, told EndpointUpdate) {
-	entries := make([]balancer.Endpoint, 0, len(told.Endpoints))
-	named := map[string]bool{}
-	for _, m := range told.Endpoints {
-		if m.Name == "" || m.Addr == "" && m.State != balancer.Gone {
-			p.engine.config.Host.Warn("entry of the list passed over: no id or no address", "pool", p.name, "id", m.Name)
+// updateBalancer passes an update of the endpoints in use to the balancer.
+func (p *Pool) updateBalancer(now monotime.Micros, update EndpointUpdate) {
+	entries := make([]balancer.Endpoint, 0, len(update.Endpoints))
+	listed := map[string]bool{}
+	for _, info := range update.Endpoints {
+		if info.Name == "" || info.Addr == "" && info.State != balancer.Gone {
+			p.engine.config.Host.Warn("endpoint list entry without ID or address ignored",
+				"pool", p.name, "id", info.Name)
 			continue
 		}
-		named[m.Name] = true
-		e := p.byName[m.Name]
-		if e == nil {
-			if m.State == balancer.Gone {
-				continue
-			}
-			p.lastNumber++
-			e = &Endpoint{Number: p.lastNumber, Name: m.Name, Addr: m.Addr, Target: p.engine.config.Host.NewTarget(m.Addr)}
-			p.byName[m.Name], p.byNumber[e.Number] = e, e
-		}
-		if m.Addr != "" && m.Addr != e.Addr {
-			e.Target.Drop()
-			e.Addr, e.Target = m.Addr, p.engine.config.Host.NewTarget(m.Addr)
+		listed[info.Name] = true
+		if entry, ok := p.updateEndpoint(now, info, update.GenerationsReset); ok {
+			entries = append(entries, entry)
 		}
-		if old := p.endpointList[m.Name]; told.GenerationsReset && e.state == balancer.Draining && old.StartedAt == m.StartedAt {
-			m.State = max(m.State, balancer.Draining) // it may be older than what told of the drain
-		}
-		p.endpointList[m.Name] = m
-		p.setEndpointState(now, m.Name, e, m.State)
-		entries = append(entries, balancer.Endpoint{ID: e.Number, Zone: indexOf(p.engine.config.Site.Zones, m.Zone),
-			Kind: indexOf(p.engine.config.Site.Kinds, m.Kind), Cell: m.Cell, State: m.State, Share: m.Weight,
-			StartTime: m.StartedAt})
 	}
-	if told.Kind != balancer.ListDelta {
+	if update.Kind != balancer.ListDelta {
 		for name, e := range p.byName {
-			if !named[name] {
+			if !listed[name] {
 				p.setEndpointState(now, name, e, balancer.Gone)
 			}
 		}
 	}
-	p.balancer.Members(now, told.Kind, entries)
-	for name, e := range p.byName { // one that is new is in, and has had no chance to get anything
+	p.balancer.Members(now, update.Kind, entries)
+	for name, e := range p.byName { // in any order: a new endpoint is not excluded yet, and has had no request
 		p.applyExclusion(now, name, e)
 	}
 	p.updateEndpointCount()
-	for _, e := range p.byName {
-		if e.state == balancer.Ready {
-			if !p.engine.ready {
-				p.engine.ready = true
-				p.engine.config.Host.EndpointReady()
-			}
-			break
+	p.reportReady()
+}
+
+// updateEndpoint applies one entry and returns the balancer's form of it; ok is false for an unknown endpoint that is
+// gone. With a generations reset the entry may be older than a drain that is known.
+func (p *Pool) updateEndpoint(now monotime.Micros, info EndpointInfo, reset bool) (entry balancer.Endpoint, ok bool) {
+	site := p.engine.config.Site
+	e := p.byName[info.Name]
+	if e == nil {
+		if info.State == balancer.Gone {
+			return balancer.Endpoint{}, false
+		}
+		p.lastNumber++
+		e = &Endpoint{
+			Number: p.lastNumber,
+			Name:   info.Name,
+			Addr:   info.Addr,
+			Target: p.engine.config.Host.NewTarget(info.Addr),
 		}
+		p.byName[info.Name] = e
+		p.byNumber[e.Number] = e
+	}
+	if info.Addr != "" && info.Addr != e.Addr {
+		e.Target.Drop()
+		e.Addr = info.Addr
+		e.Target = p.engine.config.Host.NewTarget(info.Addr)
 	}
+	if old := p.endpointList[info.Name]; reset && e.state == balancer.Draining && old.StartedAt == info.StartedAt {
+		info.State = max(info.State, balancer.Draining)
+	}
+	p.endpointList[info.Name] = info
+	p.setEndpointState(now, info.Name, e, info.State)
+	return balancer.Endpoint{
+		ID:        e.Number,
+		Zone:      indexOf(site.Zones, info.Zone),
+		Kind:      indexOf(site.Kinds, info.Kind),
+		Cell:      info.Cell,
+		State:     info.State,
+		Share:     info.Weight,
+		StartTime: info.StartedAt,
+	}, true
 }
 
-// setState notes from when on nothing new may go to an endpoint. The balancer stops at once; this is for
-// attempts that are waiting for a connection.
+// setEndpointState notes from when on nothing new may be sent to an endpoint. The balancer stops at once; this is for
+// attempts that wait for a connection.
 func (p *Pool) setEndpointState(now monotime.Micros, name string, e *Endpoint, state balancer.State) {
 	switch {
-	case e.excluded: // nothing goes out since then, whatever is told
+	case e.excluded: // nothing is sent since then, whatever its state
 	case state == balancer.Ready:
 		e.stopSendingAt.Store(0)
 	case e.state == balancer.Ready:
-		e.stopSendingAt.Store(max(1, now+p.engine.config.Site.Settings.Contract.DrainGrace-drainGraceMargin))
+		grace := p.engine.config.Site.Settings.Contract.DrainGrace
+		e.stopSendingAt.Store(max(1, now+grace-drainGraceMargin))
 	}
 	e.state = state
 	if state == balancer.Gone {
@@ -157,10 +178,24 @@
 	}
 }
 
-// index returns the place of a name in the settings, or one past all places.
+// reportReady notifies the host once, when an endpoint of any pool is ready.
+func (p *Pool) reportReady() {
+	if p.engine.ready {
+		return
+	}
+	for _, e := range p.byName {
+		if e.state == balancer.Ready {
+			p.engine.ready = true
+			p.engine.config.Host.EndpointReady()
+			return
+		}
+	}
+}
+
+// indexOf returns the index of a name in the settings, or unknownIndex.
 func indexOf(names []string, name string) uint8 {
 	if i := slices.Index(names, name); i >= 0 {
 		return uint8(i)
 	}
-	return 255
+	return unknownIndex
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,48 +12,53 @@
 // Config is what an Engine needs.
 type Config struct {
 	Site        *siteconfig.Site
-	Seed        uint64
+	Seed        uint64 // of all random draws
 	Concurrency ConcurrencySettings
 	Host        Host
-	Observer    Observer // nil is nobody
+	Observer    Observer // nil is none
 
-	OnQuotaSpent func(now monotime.Micros, budget string) // told of each unit that is spent of a budget of the fleet; nil is nobody. It must not wait
+	// OnQuotaSpent is called for each unit that is spent of a budget of the fleet. It must not block; nil is none.
+	OnQuotaSpent func(now monotime.Micros, budget string)
 }
 
-// Engine decides. Make one with New, and give it pools.
+// Engine decides for one instance. Make one with New, and add pools. It is not safe for concurrent use.
 type Engine struct {
 	config    Config
-	openTotal *fairqueue.SharedLimit // of requests over all pools
+	openTotal *fairqueue.SharedLimit // open requests over all pools
 	rng       *rand.Rand
 
 	now           monotime.Micros // the instant of the present event
-	pools         []*Pool         // not gone
+	pools         []*Pool         // not dissolved
 	cordons       cordon.Set
 	fleet         *fleetCoordinator // nil where nothing is decided with other instances
-	maintenance   maintenanceState  // what is obeyed of the order in which machines go out
+	maintenance   maintenanceState
 	lastRequestID uint64
-	calls         map[uint64]*Call
-	dirtyPools    []*Pool // whose decisions between clients may have changed
+	calls         map[uint64]*Call // by the balancer's request ID
+	dirtyPools    []*Pool          // whose queues may have decisions due
 	timers        timerHeap
 	timerSequence uint64
-	ready         bool
+	ready         bool // an endpoint was ready
 }
 
 // New returns an engine without pools.
 func New(c Config) *Engine {
-	x := &Engine{config: c, openTotal: &fairqueue.SharedLimit{Max: c.Concurrency.MaxOpen}, calls: map[uint64]*Call{},
-		rng: rand.New(rand.NewPCG(c.Seed, 1))}
+	x := &Engine{
+		config:    c,
+		openTotal: &fairqueue.SharedLimit{Max: c.Concurrency.MaxOpen},
+		calls:     map[uint64]*Call{},
+		rng:       rand.New(rand.NewPCG(c.Seed, 1)),
+	}
 	x.divideLimitsStatically()
 	return x
 }
 
-// Calls returns how many calls are not forgotten yet.
+// Calls returns how many calls are in the request table: without a final response, or with an attempt in flight.
 func (x *Engine) Calls() int { return len(x.calls) }
 
-// Pools returns how many pools are not gone.
+// Pools returns how many pools are not dissolved.
 func (x *Engine) Pools() int { return len(x.pools) }
 
-// Submit takes a client's request; the one final answer comes by Host.Answer.
+// Submit accepts a client's request. Its final response comes by Host.Respond.
 func (x *Engine) Submit(now monotime.Micros, c *Call) {
 	x.now = now
 	switch {
@@ -66,18 +71,19 @@
 	default:
 		x.lastRequestID++
 		c.Request.ID = x.lastRequestID
-		x.calls[c.Request.ID], c.Client.openCalls[c.ID] = c, c
+		x.calls[c.Request.ID] = c
+		c.Client.openCalls[c.ID] = c
 		c.Pool.openCalls++
 		c.Pool.enqueue(now, c)
 	}
 	x.dispatchQueued(now)
 }
 
-// Leave tells that the client of a request has gone, and that nobody will take its answer if it has come meanwhile.
+// ClientGone reports that the client of a request is gone, and that nobody reads its response if there is one already.
 func (x *Engine) ClientGone(now monotime.Micros, c *Call) {
 	x.now = now
 	if c.finished {
-		for _, a := range c.attempts { // an answer that has begun would wait to be read
+		for _, a := range c.attempts { // a response that has started would wait for its reader
 			if !a.done {
 				x.config.Host.AbortAttempt(a)
 			}
@@ -91,41 +97,42 @@
 	x.dispatchQueued(now)
 }
 
-// Ended tells what came of an attempt. What comes after its time was up is passed over.
+// AttemptEnded reports the outcome of an attempt. An outcome that comes after the attempt was abandoned is ignored.
 func (x *Engine) AttemptEnded(now monotime.Micros, a *Attempt, r AttemptResult) {
 	x.now = now
 	x.recordOutcome(now, a, r)
 	x.dispatchQueued(now)
 }
 
-// Began tells that an answer has begun that is too large to be held, with a reply of which At is the instant of its
-// beginning. If it says yes, the answer is the client's, and no deadline concerns the attempt any more; what ends it is
-// told to Ended. If it says no, the request has its answer already.
+// ResponseStarted reports that a response has started that is too large to be buffered; r.At is the instant of its
+// start. If it returns true, the response is the client's, and no deadline applies to the attempt any more; its end is
+// reported to AttemptEnded. If it returns false, the request has a response already.
 func (x *Engine) ResponseStarted(now monotime.Micros, a *Attempt, r AttemptResult) bool {
 	x.now = now
-	yes := x.startResponse(now, a, r)
+	accepted := x.startResponse(now, a, r)
 	x.dispatchQueued(now)
-	return yes
+	return accepted
 }
 
-// Heard tells that an answer comes, if slowly: the attempt is waited for as long as its client waits.
+// ResponseProgress reports that a response is arriving, if slowly: the attempt may last as long as the request's
+// deadline.
 func (x *Engine) ResponseProgress(now monotime.Micros, a *Attempt) {
 	x.now = now
 	if c := a.Call; !a.done && !c.finished && a.Deadline < c.Request.Deadline {
 		x.cancelTimer(a.deadlineTimer)
 		a.Deadline = c.Request.Deadline
-		a.deadlineTimer = x.schedule(a.Deadline, func(now monotime.Micros) { x.expireAttempt(now, a) })
+		x.startDeadlineTimer(a)
 	}
 }
 
-// Probed tells what came of a probe that was sent at an instant.
-func (x *Engine) ProbeEnded(now monotime.Micros, p *Pool, e *Endpoint, sent monotime.Micros, r AttemptResult) {
+// ProbeEnded reports the outcome of a probe that was sent at an instant.
+func (x *Engine) ProbeEnded(now monotime.Micros, p *Pool, e *Endpoint, sentAt monotime.Micros, r AttemptResult) {
 	x.now = now
 	if o := x.config.Observer; o != nil {
-		o.ProbeEnded(now, e.Name, r.Status, max(0, r.At-sent))
+		o.ProbeEnded(now, e.Name, r.Status, max(0, r.At-sentAt))
 	}
 	p.observeUtilization(e, r.Load)
 	p.observeProbe(now, &r)
-	p.balancer.Probed(now, e.Number, r.Status, max(0, r.At-sent), r.Load)
+	p.balancer.Probed(now, e.Number, r.Status, max(0, r.At-sentAt), r.Load)
 	x.dispatchQueued(now)
 }
--- a/internal/engine/fleetquota.go
+++ b/internal/engine/fleetquota.go
@@ -7,7 +7,14 @@
 	"dunlinsail/internal/monotime"
 )
 
-// budget is the name of a pool's budget of a kind.
+// Names of the fleet's budgets, as in gossip messages and snapshots. A pool with a name appends "/" and that.
+const (
+	retryBudget        = "further"
+	probeBudget        = "probes"
+	tenantBudgetPrefix = "tenant/" // followed by the tenant's name
+)
+
+// budgetName is the name of the pool's budget of a kind.
 func (p *Pool) budgetName(kind string) string {
 	if p.name == "" {
 		return kind
@@ -15,139 +22,153 @@
 	return kind + "/" + p.name
 }
 
-// lends has a pool's budgets of attempts and probes lent. What the pool has by itself is what all have ready.
+// addFleetBudgets has the pool's retries and probes take their quota from the fleet. The pool's own reserve is a part
+// of what the budget has.
 func (p *Pool) addFleetBudgets() {
-	t := p.engine.fleet
-	if t == nil || p.overload == nil {
+	f := p.engine.fleet
+	if f == nil || p.overload == nil {
 		return
 	}
 	p.hasFleetBudgets = true
-	if t.Scope.Retries {
-		t.member.Budget(p.budgetName("further"), 0, true)
+	if f.Scope.Retries {
+		f.member.Budget(p.budgetName(retryBudget), 0, true)
 	}
-	if t.Scope.Probes {
-		t.member.Budget(p.budgetName("probes"), p.overload.control.FleetProbeRate(), false)
+	if f.Scope.Probes {
+		f.member.Budget(p.budgetName(probeBudget), p.overload.control.FleetProbeRate(), false)
 	}
 	p.updateFleetShare(0)
 }
 
-// unlends ends that.
+// removeFleetBudgets ends that, unless another pool has the same name.
 func (p *Pool) removeFleetBudgets() {
-	same := func(o *Pool) bool { return o != p && o.name == p.name }
-	if t := p.engine.fleet; t != nil && !slices.ContainsFunc(p.engine.pools, same) {
-		t.member.Forget(p.budgetName("further"))
-		t.member.Forget(p.budgetName("probes"))
+	sameName := func(o *Pool) bool { return o != p && o.name == p.name }
+	f := p.engine.fleet
+	if f == nil || slices.ContainsFunc(p.engine.pools, sameName) {
+		return
 	}
+	f.member.Forget(p.budgetName(retryBudget))
+	f.member.Forget(p.budgetName(probeBudget))
 }
 
-// lent tells the pool's control what it has by itself, and what is lent to it.
+// updateFleetShare tells the pool's overload control which parts of its budgets are its own reserve, and how many
+// probes the fleet grants it beside that.
 func (p *Pool) updateFleetShare(now monotime.Micros) {
-	t := p.engine.fleet
-	if !p.hasFleetBudgets || !t.Scope.Retries && !t.Scope.Probes {
+	f := p.engine.fleet
+	if !p.hasFleetBudgets || !f.Scope.Retries && !f.Scope.Probes {
 		return
 	}
-	part := func(lends bool) float64 {
-		if lends {
-			return t.Fleet.Loans.Reserve
+	reserve := func(coordinated bool) float64 {
+		if coordinated {
+			return f.Fleet.Loans.Reserve
 		}
 		return 1
 	}
-	p.overload.control.SetLocalShares(part(t.Scope.Retries), part(t.Scope.Probes), float64(t.member.Allowed(now, p.budgetName("probes"))))
+	granted := float64(f.member.Allowed(now, p.budgetName(probeBudget)))
+	p.overload.control.SetLocalShares(reserve(f.Scope.Retries), reserve(f.Scope.Probes), granted)
 }
 
-// spend takes a unit of a budget that is lent, and says whether there was one.
+// spendQuota takes a unit of a budget's quota, and reports whether there was one.
 func (x *Engine) spendQuota(now monotime.Micros, budget string) bool {
-	t := x.fleet
-	if !t.member.Take(now, budget) {
+	if !x.fleet.member.Take(now, budget) {
 		return false
 	}
-	if f := x.config.OnQuotaSpent; f != nil {
-		f(now, budget)
+	if notify := x.config.OnQuotaSpent; notify != nil {
+		notify(now, budget)
 	}
 	return true
 }
 
-// lentProbe returns what takes a probe of those that are lent; nil where none are.
+// probeQuota returns a function that takes a unit of the probe quota; nil where probes have none.
 func (p *Pool) probeQuota(now monotime.Micros) func() bool {
-	t := p.engine.fleet
-	if t == nil || !t.Scope.Probes {
+	f := p.engine.fleet
+	if f == nil || !f.Scope.Probes {
 		return nil
 	}
 	return func() bool {
-		t.member.Want(now, p.budgetName("probes"))
-		return p.engine.spendQuota(now, p.budgetName("probes"))
+		budget := p.budgetName(probeBudget)
+		f.member.Want(now, budget)
+		return p.engine.spendQuota(now, budget)
 	}
 }
 
-// lendsFurther says whether one more further attempt is lent to the pool.
+// hasRetryQuota reports whether the fleet's quota allows one more retry.
 func (p *Pool) hasRetryQuota(now monotime.Micros) bool {
-	t := p.engine.fleet
-	return p.hasFleetBudgets && t.Scope.Retries && t.member.Left(now, p.budgetName("further")) > 0
+	f := p.engine.fleet
+	return p.hasFleetBudgets && f.Scope.Retries && f.member.Left(now, p.budgetName(retryBudget)) > 0
 }
 
-// sentFurther takes a further attempt out of what the pool has by itself, or else of what is lent to it.
+// countRetry charges a retry to the pool's own reserve, or else to its quota.
 func (p *Pool) countRetry(now monotime.Micros, class int) {
-	if p.hasRetryQuota(now) && !p.overload.control.RetryAllowed(now) && p.engine.spendQuota(now, p.budgetName("further")) {
+	control := p.overload.control
+	if p.hasRetryQuota(now) && !control.RetryAllowed(now) && p.engine.spendQuota(now, p.budgetName(retryBudget)) {
 		return
 	}
-	p.overload.control.OnAttemptSent(now, class, false)
+	control.OnAttemptSent(now, class, false)
 }
 
-// wantsFurther notes that a further attempt would be made if there were one to make.
+// requestRetryQuota notes after a failure that the request would be retried if the quota allowed it.
 func (p *Pool) requestRetryQuota(now monotime.Micros, a *Attempt, status balancer.Status) {
-	t := p.engine.fleet
-	if t == nil || !t.Scope.Retries || a.Call.finished || len(a.Call.attempts) >= p.engine.config.Site.Settings.Limits.MaxAttempts {
+	f := p.engine.fleet
+	maxAttempts := p.engine.config.Site.Settings.Limits.MaxAttempts
+	if f == nil || !f.Scope.Retries || a.Call.finished || len(a.Call.attempts) >= maxAttempts {
 		return
 	}
 	switch status {
 	case balancer.OK, balancer.Cancelled, balancer.Moot:
 	default:
-		t.member.Want(now, p.budgetName("further"))
+		f.member.Want(now, p.budgetName(retryBudget))
 	}
 }
 
-// saw notes how an attempt ended at an endpoint, for the others.
+// recordObservation counts the outcome of an attempt at an endpoint, for the other instances.
 func (p *Pool) recordObservation(now monotime.Micros, a *Attempt, status balancer.Status) {
-	t := p.engine.fleet
-	if t == nil || !t.Scope.SuspectedEndpoints {
+	f := p.engine.fleet
+	if f == nil || !f.Scope.SuspectedEndpoints {
 		return
 	}
 	switch status {
 	case balancer.Cancelled, balancer.Moot:
 	default:
-		t.localObservations.RecordOutcome(now, p.observationKey(a.Endpoint.Name), int(a.Call.Request.Class), status == balancer.OK)
+		key := p.observationKey(a.Endpoint.Name)
+		f.localObservations.RecordOutcome(now, key, int(a.Call.Request.Class), status == balancer.OK)
 	}
 }
 
-// Limits gives tenants other limits, by their places; those that have none go on to have none.
+// SetTenantLimits changes the limits of tenants, by their index in the settings, in requests a second over all
+// instances. A tenant without a limit does not get one.
 func (x *Engine) SetTenantLimits(limits []float64) {
-	if t := x.fleet; t != nil {
-		for i, budget := range t.tenantBudgets {
-			if budget != "" && i < len(limits) {
-				t.member.Budget(budget, limits[i], false)
-			}
+	f := x.fleet
+	if f == nil {
+		return
+	}
+	for i, budget := range f.tenantBudgets {
+		if budget != "" && i < len(limits) {
+			f.member.Budget(budget, limits[i], false)
 		}
 	}
 }
 
-// limited answers a request that is beyond what its tenant may have over all instances in a second, and says whether it is.
+// rejectOverLimit rejects a request that is beyond its tenant's limit over all instances, and reports whether it did.
 func (p *Pool) rejectOverLimit(now monotime.Micros, c *Call) bool {
 	x := p.engine
-	t := x.fleet
-	if t == nil || int(c.Request.Tenant) >= len(t.tenantBudgets) || t.tenantBudgets[c.Request.Tenant] == "" {
+	f := x.fleet
+	tenant := int(c.Request.Tenant)
+	if f == nil || tenant >= len(f.tenantBudgets) || f.tenantBudgets[tenant] == "" {
 		return false
 	}
-	budget := t.tenantBudgets[c.Request.Tenant]
-	t.member.Want(now, budget)
+	budget := f.tenantBudgets[tenant]
+	f.member.Want(now, budget)
 	if x.spendQuota(now, budget) {
 		return false
 	}
-	t.requestsOverLimit++
-	a := Response{Verdict: RateLimited, Reason: "its tenant asks for more than it may over all instances"}
+	f.requestsOverLimit++
+	r := Response{Verdict: RateLimited, Reason: "its tenant asks for more than it may over all instances"}
 	if limits := &x.config.Site.Settings.Limits; limits.RetryAfter {
-		// What is spent is free again within a second; those turned away are not to return together.
-		a.RetryAfter = min(monotime.Micros(float64(second)*(0.25+0.75*x.rng.Float64())), limits.MaxRetryAfter)
+		// What is spent is available again within a second. With jitter, so that clients that were rejected at the same
+		// time do not retry at the same time.
+		retryAfter := monotime.Micros(float64(monotime.Second) * (0.25 + 0.75*x.rng.Float64()))
+		r.RetryAfter = min(retryAfter, limits.MaxRetryAfter)
 	}
-	x.respond(c, a)
+	x.respond(c, r)
 	return true
 }
--- /dev/null
+++ b/internal/engine/helpers_test.go
@@ -0,0 +1,257 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/siteconfig"
+)
+
+// answeringHost is a host whose endpoints answer all attempts and probes after a fixed time. Those in failing answer
+// with an error.
+type answeringHost struct {
+	engine   *Engine
+	pool     *Pool
+	failing  map[string]bool
+	attempts map[string]int // by endpoint
+	probes   int
+	verdicts map[Verdict]int
+}
+
+func (h *answeringHost) NewTarget(string) Target { return unknownTarget{} }
+func (h *answeringHost) StartAttempt(a *Attempt) {
+	h.attempts[a.Endpoint.Name]++
+	status := balancer.OK
+	if h.failing[a.Endpoint.Name] {
+		status = balancer.Error
+	}
+	h.engine.schedule(a.StartedAt+20_000, func(now monotime.Micros) {
+		h.engine.recordOutcome(now, a, AttemptResult{Status: status, At: now})
+	})
+}
+func (h *answeringHost) CancelUnsent(*Attempt) bool { return false }
+func (h *answeringHost) AbortAttempt(*Attempt)      {}
+func (h *answeringHost) AttemptTimedOut(*Attempt)   {}
+func (h *answeringHost) StartProbe(p *Pool, e *Endpoint) {
+	h.probes++
+	sentAt := h.engine.now
+	h.engine.schedule(sentAt+1000, func(now monotime.Micros) {
+		p.balancer.Probed(now, e.Number, balancer.OK, now-sentAt, []float32{1})
+	})
+}
+func (h *answeringHost) Respond(_ *Call, r Response) { h.verdicts[r.Verdict]++ }
+func (h *answeringHost) EndpointReady()              {}
+func (h *answeringHost) Log(string, ...any)          {}
+func (h *answeringHost) Warn(string, ...any)         {}
+
+// sentAttempts returns how many attempts were started at all endpoints.
+func (h *answeringHost) sentAttempts() int {
+	sent := 0
+	for _, n := range h.attempts {
+		sent += n
+	}
+	return sent
+}
+
+// run submits so many requests, one after each gap, and returns when the last is over.
+func (h *answeringHost) run(c *Client, now monotime.Micros, requests int, gap monotime.Micros) monotime.Micros {
+	for i := range requests {
+		now += gap
+		advanceTo(h.engine, now)
+		h.engine.Submit(now, &Call{Client: c, Pool: h.pool, ID: fmt.Sprint(now, i),
+			Request: balancer.Request{Deadline: now + 500_000}, ArrivedAt: now})
+	}
+	now += monotime.Second
+	advanceTo(h.engine, now)
+	return now
+}
+
+// startPool gives the host another pool.
+func (h *answeringHost) startPool(t testing.TB, c PoolConfig, list []EndpointInfo) {
+	t.Helper()
+	c.InitialEndpoints = EndpointUpdate{Generation: 1, Endpoints: list}
+	c.Watch = func(bool) {}
+	pool, err := h.engine.NewPool(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Start(1_000 * monotime.Second)
+	h.pool = pool
+}
+
+// newQuietInstance returns an instance of a fleet of 5,000 that uses four of sixty endpoints.
+func newQuietInstance(t testing.TB, probes float64) (*answeringHost, *Client, []EndpointInfo) {
+	t.Helper()
+	return newInstance(t, &subset.Settings{Position: 77, Instances: 5000, MinMembers: 4, EndpointProbes: probes})
+}
+
+// newInstance returns an instance that uses a subset of sixty endpoints, or all if that is nil.
+func newInstance(t testing.TB, part *subset.Settings) (*answeringHost, *Client, []EndpointInfo) {
+	t.Helper()
+	s := balancer.Settings{Balancers: 5000, Zones: 1, Fields: []balancer.Field{balancer.FieldInflight},
+		Classes: []balancer.Class{{Name: "look", Aim: 200_000, GiveUp: 500_000, Worth: 1}},
+		Limits:  balancer.Limits{Probes: true, SecondCopies: true, MaxAttempts: 3, MaxOpen: 100, DialTimeout: 100_000},
+		Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.2, RampTime: 20 * monotime.Second, FallMultiple: 2.5,
+			OverloadFor: 2 * monotime.Second, AskWithin: 10 * monotime.Second}, Goal: balancer.Goal{Whole: 1}}
+	h := &answeringHost{failing: map[string]bool{}, attempts: map[string]int{}, verdicts: map[Verdict]int{}}
+	site := &siteconfig.Site{Settings: s, Classes: []string{"look"}, Zones: []string{"a"}}
+	h.engine = New(Config{Site: site, Seed: 5, Host: h})
+	var list []EndpointInfo
+	for i := range 60 {
+		list = append(list, EndpointInfo{Name: fmt.Sprintf("s-%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i),
+			Zone: "a", Weight: 1})
+	}
+	h.startPool(t, PoolConfig{Subset: part}, list)
+	c, err := NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h, c, list
+}
+
+// recordingHost is a host that answers nothing by itself, and records what it is to do.
+type recordingHost struct {
+	Host
+	started   []*Attempt
+	responses map[string]Response // by request ID
+}
+
+func (h *recordingHost) NewTarget(string) Target     { return unknownTarget{} }
+func (h *recordingHost) StartAttempt(a *Attempt)     { h.started = append(h.started, a) }
+func (h *recordingHost) CancelUnsent(*Attempt) bool  { return false }
+func (h *recordingHost) AbortAttempt(*Attempt)       {}
+func (h *recordingHost) AttemptTimedOut(*Attempt)    {}
+func (h *recordingHost) StartProbe(*Pool, *Endpoint) {}
+func (h *recordingHost) Respond(c *Call, r Response) { h.responses[c.ID] = r }
+func (h *recordingHost) EndpointReady()              {}
+func (h *recordingHost) Log(string, ...any)          {}
+func (h *recordingHost) Warn(string, ...any)         {}
+func (h *recordingHost) nextAttempt() (first *Attempt) {
+	first = h.started[0]
+	h.started = slices.Delete(h.started, 0, 1)
+	return first
+}
+
+// serveAll answers all attempts that have started, and returns how many that were, and how many of them at e1.
+func (h *recordingHost) serveAll(x *Engine, now monotime.Micros) (all, atE1 int) {
+	for len(h.started) > 0 {
+		a := h.nextAttempt()
+		x.AttemptEnded(now, a, AttemptResult{Status: balancer.OK, At: now})
+		all++
+		if a.Endpoint.Name == "e1" {
+			atE1++
+		}
+	}
+	return all, atE1
+}
+
+// tenantSite returns the settings of two classes and two tenants, of which the first has a limit.
+func tenantSite(limit float64, instances, position int) *siteconfig.Site {
+	return &siteconfig.Site{
+		Classes:      []string{"look", "book"},
+		Tenants:      []string{"t", "free"},
+		TenantLimits: []float64{limit, 0},
+		Zones:        []string{"z"},
+		Kinds:        []string{"k"},
+		Settings: balancer.Settings{
+			Balancers: instances, Position: position, Zones: 1, Kinds: 1, OverShareWorth: 1,
+			Classes: []balancer.Class{
+				{Name: "look", Aim: 200_000, GiveUp: 500_000, Worth: 1},
+				{Name: "book", Aim: 200_000, GiveUp: 500_000, Worth: 5},
+			},
+			Tenants: []balancer.Tenant{
+				{Name: "t", Allowance: 10, Share: 0.5},
+				{Name: "free", Allowance: 10, Share: 0.5},
+			},
+			Limits: balancer.Limits{RetryAfter: true, MaxRetryAfter: 400_000, MaxAttempts: 3, MaxOpen: 1000,
+				DialTimeout: 100_000},
+			Contract: balancer.Contract{DrainGrace: 250_000, ColdFrom: 0.3, RampTime: monotime.Second, FallMultiple: 2.5,
+				OverloadFor: monotime.Second, AskWithin: 10 * monotime.Second},
+			Goal: balancer.Goal{Whole: 1},
+		},
+	}
+}
+
+// fleetOfOne returns what has an engine decide as the only instance of its fleet, which grants itself all quota.
+func fleetOfOne(scope CoordinationScope) Coordination {
+	return Coordination{
+		Scope:           scope,
+		Send:            func(string, coordination.Word) {},
+		NextIncarnation: func() uint64 { return 7 },
+		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: monotime.Second,
+			Loans: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * monotime.Second,
+				RequestInterval: monotime.Second / 4, MaxClockDrift: 0.005}},
+	}
+}
+
+// newEngine returns an engine with three endpoints; with a scope it is the only instance of its fleet.
+func newEngine(t testing.TB, s *siteconfig.Site, scope *CoordinationScope, o *overload.Settings) (
+	*Engine, *Pool, *recordingHost) {
+	t.Helper()
+	h := &recordingHost{responses: map[string]Response{}}
+	x := New(Config{Site: s, Seed: 1, Host: h, Concurrency: ConcurrencySettings{MaxOpen: 1000}})
+	if scope != nil {
+		if err := x.JoinFleet(fleetOfOne(*scope)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p, err := x.NewPool(PoolConfig{
+		InitialEndpoints: EndpointUpdate{Generation: -1},
+		Watch:            func(bool) {},
+		Overload:         o,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Start(0)
+	var list []EndpointInfo
+	for i := range 3 {
+		list = append(list, EndpointInfo{Name: fmt.Sprint("e", i), Addr: "a", Zone: "z", Kind: "k",
+			State: balancer.Ready, Weight: 1})
+	}
+	p.UpdateEndpoints(0, EndpointUpdate{Kind: balancer.ListFull, Generation: 1, Endpoints: list})
+	x.StartCoordination(0)
+	return x, p, h
+}
+
+// advanceTo fires all timers that are due by an instant, each at its own.
+func advanceTo(x *Engine, now monotime.Micros) {
+	for due, ok := x.Next(); ok && due <= now; due, ok = x.Next() {
+		x.Advance(due)
+	}
+	x.Advance(now)
+}
+
+// newCall returns a call of a client of its own.
+func newCall(t testing.TB, p *Pool, now monotime.Micros, id string, r balancer.Request) *Call {
+	t.Helper()
+	c, err := NewClient(fairqueue.ClientSpec{Weight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Call{Client: c, Pool: p, ID: id, ArrivedAt: now, Request: r}
+}
+
+// submit submits a request of a tenant.
+func submit(t testing.TB, x *Engine, p *Pool, now monotime.Micros, id string, tenant uint16) {
+	t.Helper()
+	x.Submit(now, newCall(t, p, now, id, balancer.Request{Tenant: tenant, Deadline: now + 500_000}))
+}
+
+// fleetView returns what an engine knows of its fleet.
+func fleetView(t testing.TB, x *Engine, now monotime.Micros) coordination.View {
+	t.Helper()
+	view, ok := x.FleetView(now)
+	if !ok {
+		t.Fatal("no fleet")
+	}
+	return view
+}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -5,49 +5,54 @@
 	"dunlinsail/internal/monotime"
 )
 
-// nowhere stands in for the target of an endpoint that is not known.
-type unknownTarget struct{}
-
-func (unknownTarget) Drop() {}
-
-// Host carries out what an engine asks for. Its methods are called from within the engine's, in the order in which they
-// are to take effect; they must not wait, and must not call the engine.
+// Host carries out what an engine requests. The engine calls its methods in the order in which they are to take effect.
+// They must not block, and must not call the engine.
 type Host interface {
-	// Target makes what attempts are sent to of an endpoint's address.
+	// NewTarget returns the target of attempts for an endpoint's address.
 	NewTarget(addr string) Target
-	// Start starts an attempt; its end is told to Engine.Ended. a.Host is the host's to use.
+	// StartAttempt starts an attempt. The host reports its end to Engine.AttemptEnded. a.HostData is the host's to use.
 	StartAttempt(a *Attempt)
-	// Shut keeps an attempt in that has not gone out, and says whether it had not: then it never runs.
-	CancelUnsent(a *Attempt) (never bool)
-	// Withdraw ends an attempt, however far it is; nobody waits for it any more.
+	// CancelUnsent cancels an attempt of which nothing has been written yet, and reports whether that was so: the
+	// attempt then never reaches its endpoint.
+	CancelUnsent(a *Attempt) (unsent bool)
+	// AbortAttempt ends an attempt in whatever state it is; nobody waits for it any more.
 	AbortAttempt(a *Attempt)
-	// Silent tells that an attempt that went out was not answered in its time.
+	// AttemptTimedOut reports that an attempt that was sent got no answer before its deadline.
 	AttemptTimedOut(a *Attempt)
-	// Probe asks an endpoint for its load; the answer is told to Engine.Probed.
+	// StartProbe requests a load report from an endpoint. The host reports the answer to Engine.ProbeEnded.
 	StartProbe(p *Pool, e *Endpoint)
-	// Answer gives a request its one final answer.
-	Respond(c *Call, a Response)
-	// Ready tells that an endpoint is known to serve, once.
+	// Respond gives a request its one final response.
+	Respond(c *Call, r Response)
+	// EndpointReady reports that an endpoint is ready for requests. It is called once, for the first one.
 	EndpointReady()
-	// Log records a line for on-call staff; Warn one that asks for a look.
+	// Log records an informational line for on-call staff.
 	Log(line string, args ...any)
+	// Warn records a line that needs attention.
 	Warn(line string, args ...any)
 }
 
-// Target is the host's own for where an endpoint listens. What is meant for it must not reach another endpoint that
-// listens at the same address later.
+// Target is the host's handle for the address of an endpoint. Requests meant for it must not reach another endpoint
+// that listens at the same address later.
 type Target interface {
-	// Drop ends the target's use. What is out there goes on.
+	// Drop ends the use of the target. Attempts in flight go on.
 	Drop()
 }
 
-// Observer is told what an engine does, for counting over a fleet. Its methods must not wait, and must not call the engine.
+// unknownTarget is the target of an endpoint that is not in the list.
+type unknownTarget struct{}
+
+// Drop does nothing.
+func (unknownTarget) Drop() {}
+
+// Observer is notified of what an engine does, for counting over a fleet. Its methods must not block, and must not call
+// the engine.
 type Observer interface {
-	// Sent tells that an attempt started at an endpoint.
+	// AttemptStarted is called for each attempt that starts at an endpoint.
 	AttemptStarted(now monotime.Micros, endpoint string)
-	// Ended tells an attempt's outcome, Probed a probe's.
+	// AttemptEnded is called with the outcome of each attempt.
 	AttemptEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros)
+	// ProbeEnded is called with the outcome of each probe.
 	ProbeEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros)
-	// Told tells news of the list, as the pool was told.
-	EndpointsUpdated(now monotime.Micros, t EndpointUpdate)
+	// EndpointsUpdated is called with each endpoint list update that the engine applies.
+	EndpointsUpdated(now monotime.Micros, update EndpointUpdate)
 }
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -9,82 +10,88 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Orders are what an instance has to obey.
+// MaintenancePlan is the part of the fleet's maintenance plan (package work) that one instance has to follow.
 type MaintenancePlan struct {
-	AwaitingPlan  bool            `json:"Wait"`  // no order has been heard yet: nothing goes anywhere
-	Stopped       []string        `json:"Stop"`  // nothing new goes there; who is let in again has been worked on, and is cold
-	Announced     []string        `json:"Ahead"` // nothing new goes there once the order holds no more,
-	LeaseEnd      monotime.Micros `json:"Until"` // from this instant on,
-	DrainDeadline monotime.Micros `json:"End"`   // and what is still open there and at those in Stop is ended from this one
+	AwaitingPlan  bool            `json:"Wait"`  // no plan is known yet: nothing is sent to any endpoint
+	Stopped       []string        `json:"Stop"`  // endpoints that get nothing new. One that is let back in has restarted
+	Announced     []string        `json:"Ahead"` // endpoints that are next, and get nothing new once the lease has ended
+	LeaseEnd      monotime.Micros `json:"Until"`
+	DrainDeadline monotime.Micros `json:"End"` // attempts still open at endpoints of both lists are ended at this instant
 }
 
-// ordered is what is obeyed; the zero value is nothing.
+// includes reports whether an endpoint is stopped or announced.
+func (p *MaintenancePlan) includes(name string) bool {
+	return slices.Contains(p.Stopped, name) || slices.Contains(p.Announced, name)
+}
+
+// maintenanceState is the plan in force; the zero value is none.
 type maintenanceState struct {
 	MaintenancePlan
-	leaseTimer, drainTimer *timer
+	leaseTimer *timer
+	drainTimer *timer
 }
 
-// Order has the engine obey an order in place of the one before.
-func (x *Engine) ApplyMaintenancePlan(now monotime.Micros, o MaintenancePlan) {
+// ApplyMaintenancePlan has the engine follow a plan in place of the previous one.
+func (x *Engine) ApplyMaintenancePlan(now monotime.Micros, plan MaintenancePlan) {
 	x.now = now
 	x.cancelTimer(x.maintenance.leaseTimer)
 	x.cancelTimer(x.maintenance.drainTimer)
-	x.maintenance = maintenanceState{MaintenancePlan: o}
+	x.maintenance = maintenanceState{MaintenancePlan: plan}
 	x.applyExclusions(now)
-	if !o.AwaitingPlan && len(o.Announced)+len(o.Stopped) > 0 {
-		x.maintenance.leaseTimer = x.schedule(max(now, o.LeaseEnd), x.applyExclusions)
-		x.maintenance.drainTimer = x.schedule(max(now, o.DrainDeadline), x.expireDrainedAttempts)
+	if !plan.AwaitingPlan && len(plan.Announced)+len(plan.Stopped) > 0 {
+		x.maintenance.leaseTimer = x.schedule(max(now, plan.LeaseEnd), x.applyExclusions)
+		x.maintenance.drainTimer = x.schedule(max(now, plan.DrainDeadline), x.expireDrainedAttempts)
 	}
 	x.dispatchQueued(now)
 }
 
-// obey has all pools obey as of an instant.
+// applyExclusions applies cordons and the maintenance plan to all endpoints.
 func (x *Engine) applyExclusions(now monotime.Micros) {
 	for _, p := range x.pools {
-		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // in their order: what is left to chance must not depend on a map's
+		for _, name := range slices.Sorted(maps.Keys(p.byName)) { // sorted: random draws must not depend on map order
 			p.applyExclusion(now, name, p.byName[name])
 		}
 		p.updateEndpointCount()
 	}
 }
 
-// obey has one endpoint be out or in, by all that is said of it.
+// applyExclusion applies cordons and the maintenance plan to one endpoint.
 func (p *Pool) applyExclusion(now monotime.Micros, name string, e *Endpoint) {
-	o := &p.engine.maintenance
-	p.setExcluded(now, e, p.engine.cordons.Out(name) || slices.Contains(o.Stopped, name))
-	ahead := slices.Contains(o.Announced, name)
-	p.balancer.Pause(now, e.Number, o.AwaitingPlan || ahead && now >= o.LeaseEnd)
+	plan := &p.engine.maintenance.MaintenancePlan
+	p.setExcluded(now, e, p.engine.cordons.Out(name) || slices.Contains(plan.Stopped, name))
+	announced := slices.Contains(plan.Announced, name)
+	p.balancer.Pause(now, e.Number, plan.AwaitingPlan || announced && now >= plan.LeaseEnd)
 	if e.excluded || e.state != balancer.Ready {
-		return // nothing goes there as it is
+		return // nothing is sent there in any case
 	}
-	// What waits for a connection, or for its process to be let go on, looks at this last.
+	// An attempt that waits for its connection, or whose process was suspended, checks this last.
 	switch {
-	case o.AwaitingPlan:
+	case plan.AwaitingPlan:
 		e.stopSendingAt.Store(max(1, now))
-	case ahead:
-		e.stopSendingAt.Store(max(1, o.LeaseEnd))
+	case announced:
+		e.stopSendingAt.Store(max(1, plan.LeaseEnd))
 	default:
 		e.stopSendingAt.Store(0)
 	}
 }
 
-// leaveOut ends what is open at machines that are ahead or out: no order has held for long.
+// expireDrainedAttempts ends the attempts that are open at endpoints of the plan: its lease has been over for long.
 func (x *Engine) expireDrainedAttempts(now monotime.Micros) {
 	for _, id := range slices.Sorted(maps.Keys(x.calls)) {
 		for _, a := range slices.Clone(x.calls[id].attempts) {
-			if name := a.Endpoint.Name; !a.done && (slices.Contains(x.maintenance.Stopped, name) || slices.Contains(x.maintenance.Announced, name)) {
+			if !a.done && x.maintenance.includes(a.Endpoint.Name) {
 				x.expireAttempt(now, a)
 			}
 		}
 	}
 }
 
-// Open returns how many attempts are open at each of some endpoints.
-func (x *Engine) OpenAttempts(names []string) map[string]int {
+// OpenAttempts returns how many attempts are open at each of some endpoints; those without any are left out.
+func (x *Engine) OpenAttempts(endpoints []string) map[string]int {
 	open := map[string]int{}
 	for _, c := range x.calls {
 		for _, a := range c.attempts {
-			if !a.done && slices.Contains(names, a.Endpoint.Name) {
+			if !a.done && slices.Contains(endpoints, a.Endpoint.Name) {
 				open[a.Endpoint.Name]++
 			}
 		}
@@ -92,39 +99,56 @@
 	return open
 }
 
-// Facts returns how machines stand, as this instance sees them: what each can do by its weight, and how much of that is in use by
-// what they report; without reports of how busy they are that is nothing.
-func (x *Engine) MaintenanceFacts(now monotime.Micros) (f maintenance.FleetStatus) {
-	kinds := x.config.Site.Kinds
+// MaintenanceFacts returns the state of all machines as this instance sees them: the capacity of each by its weight,
+// and how much of that is in use. Without load reports that carry the utilization, the use is 0.
+func (x *Engine) MaintenanceFacts(now monotime.Micros) (facts maintenance.FleetStatus) {
 	for _, p := range x.pools {
-		list := p.endpointList
-		if p.subset != nil {
-			list = p.subset.endpoints
-		}
-		for name, m := range list {
-			e := p.byName[name]
-			// One that is out by order is as well as it was: it counts as out by that.
-			well := m.State == balancer.Ready && !x.cordons.Out(name) && (e == nil || !p.balancer.Ejected(now, e.Number))
-			kind := m.Kind
-			if !slices.Contains(kinds, kind) {
-				kind = ""
-			}
-			f.Machines = append(f.Machines, maintenance.MachineStatus{Name: name, Zone: m.Zone, Kind: kind, Cell: int(m.Cell), Capacity: float64(m.Weight), Healthy: well})
-			if e != nil && well {
-				f.Usage += float64(m.Weight) * e.utilization
+		for name, info := range p.fullEndpointList() {
+			machine := x.machine(now, p, info)
+			facts.Machines = append(facts.Machines, machine)
+			if e := p.byName[name]; e != nil && machine.Healthy {
+				facts.Usage += float64(info.Weight) * e.utilization
 			}
 		}
 	}
-	slices.SortFunc(f.Machines, func(a, b maintenance.MachineStatus) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
-	return f
+	slices.SortFunc(facts.Machines, func(a, b maintenance.MachineStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return facts
 }
 
-// busy notes how busy an endpoint says that it is.
-func (p *Pool) observeUtilization(e *Endpoint, load []float32) {
-	at := slices.Index(p.engine.config.Site.Settings.Fields, balancer.FieldUtil)
-	if at >= 0 && at < len(load) && load[at] >= 0 && load[at] <= 1 {
-		e.utilization += (float64(load[at]) - e.utilization) * utilizationWeight
+// machine returns the state of one machine. One that is stopped by the plan is as well as it was before.
+func (x *Engine) machine(now monotime.Micros, p *Pool, info EndpointInfo) maintenance.MachineStatus {
+	e := p.byName[info.Name]
+	ejected := e != nil && p.balancer.Ejected(now, e.Number)
+	kind := info.Kind
+	if !slices.Contains(x.config.Site.Kinds, kind) {
+		kind = ""
+	}
+	return maintenance.MachineStatus{
+		Name:     info.Name,
+		Zone:     info.Zone,
+		Kind:     kind,
+		Cell:     int(info.Cell),
+		Capacity: float64(info.Weight),
+		Healthy:  info.State == balancer.Ready && !x.cordons.Out(info.Name) && !ejected,
 	}
 }
 
+// fullEndpointList returns the endpoint list by name, also where the instance uses a part of it.
+func (p *Pool) fullEndpointList() map[string]EndpointInfo {
+	if p.subset != nil {
+		return p.subset.endpoints
+	}
+	return p.endpointList
+}
+
+// utilizationWeight is the weight of one load report in the moving average of an endpoint's utilization.
 const utilizationWeight = 0.1
+
+// observeUtilization takes in how busy an endpoint reports to be.
+func (p *Pool) observeUtilization(e *Endpoint, load []float32) {
+	i := slices.Index(p.engine.config.Site.Settings.Fields, balancer.FieldUtil)
+	if i < 0 || i >= len(load) || !(load[i] >= 0 && load[i] <= 1) {
+		return
+	}
+	e.utilization += (float64(load[i]) - e.utilization) * utilizationWeight
+}
--- a/internal/engine/maintenance_test.go
+++ b/internal/engine/maintenance_test.go
@@ -5,72 +5,85 @@
 	"testing"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/monotime"
 )
 
-// An order is obeyed from its instant: nothing before one is heard, nothing to machines out, to those next in line while it holds; who waits for a
-// connection looks at it last; what is open at either is ended once none has held for long, and one that is not worked on goes on warm.
-func TestOrder(t *testing.T) {
-	x, p, h := fleetOf(t, tenantSite(0, 1, 0), nil, nil)
-	now := monotime.Micros(5 * second)
-	run(x, now)
-	sent := func(n int) map[string]int {
-		all := map[string]int{}
-		for range n {
-			c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
-			x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(now), ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 500_000}})
-			for len(h.started) > 0 {
-				a := h.started[0]
-				h.started = h.started[1:]
-				all[a.Endpoint.Name]++
-				if !a.Endpoint.MaySend(now) {
-					t.Errorf("%s is picked, and may not be sent to", a.Endpoint.Name)
-				}
-				x.AttemptEnded(now+20_000, a, AttemptResult{Status: balancer.OK, At: now + 20_000})
+// maintenanceRun is an engine that follows a maintenance plan.
+type maintenanceRun struct {
+	engine *Engine
+	pool   *Pool
+	host   *recordingHost
+	now    monotime.Micros
+}
+
+// sent submits so many requests and returns how many attempts each endpoint got.
+func (r *maintenanceRun) sent(t *testing.T, requests int) map[string]int {
+	t.Helper()
+	all := map[string]int{}
+	for range requests {
+		submit(t, r.engine, r.pool, r.now, fmt.Sprint(r.now), 1)
+		for len(r.host.started) > 0 {
+			a := r.host.nextAttempt()
+			all[a.Endpoint.Name]++
+			if !a.Endpoint.MaySend(r.now) {
+				t.Errorf("%s is picked, and may not be sent to", a.Endpoint.Name)
 			}
-			now += 50_000
-			run(x, now)
+			r.engine.AttemptEnded(r.now+20_000, a, AttemptResult{Status: balancer.OK, At: r.now + 20_000})
 		}
-		return all
+		r.now += 50_000
+		advanceTo(r.engine, r.now)
 	}
-	x.ApplyMaintenancePlan(now, MaintenancePlan{AwaitingPlan: true})
-	if got := sent(20); len(got) != 0 {
-		t.Errorf("before an order is heard: %v", got)
+	return all
+}
+
+// openAttemptAtE1 submits requests until one goes to e1, and leaves that open.
+func (r *maintenanceRun) openAttemptAtE1(t *testing.T) {
+	t.Helper()
+	for range 200 {
+		request := balancer.Request{Tenant: 1, Deadline: r.now + 60*monotime.Second}
+		r.engine.Submit(r.now, newCall(t, r.pool, r.now, "open", request))
+		if len(r.host.started) > 0 && r.host.started[0].Endpoint.Name == "e1" {
+			break
+		}
+		r.host.serveAll(r.engine, r.now+20_000)
+		r.now += 5_000
 	}
-	until := now + 10*second
-	x.ApplyMaintenancePlan(now, MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"}, LeaseEnd: until, DrainDeadline: until + second})
-	if got := sent(60); got["e0"] != 0 || got["e1"]+got["e2"] < 50 {
-		t.Errorf("with one out and one ahead: %v", got)
+	if r.engine.OpenAttempts([]string{"e1"})["e1"] != 1 {
+		t.Fatalf("nothing is open at e1: %v", r.engine.OpenAttempts([]string{"e0", "e1", "e2"}))
 	}
-	// One that waits for its connection while the process is stopped must not go out once it wakes.
-	e1 := p.byName["e1"]
-	if !e1.MaySend(until-1) || e1.MaySend(until) {
-		t.Error("one next in line may be sent to when the order holds no more, or not before")
+}
+
+// Without a plan nothing is sent. With one, nothing is sent to stopped endpoints, and to announced ones only until the
+// lease ends, which attempts that wait for a connection check last. What is open there at the drain deadline is ended.
+func TestMaintenancePlan(t *testing.T) {
+	x, p, h := newEngine(t, tenantSite(0, 1, 0), nil, nil)
+	r := &maintenanceRun{engine: x, pool: p, host: h, now: 5 * monotime.Second}
+	advanceTo(x, r.now)
+	x.ApplyMaintenancePlan(r.now, MaintenancePlan{AwaitingPlan: true})
+	if got := r.sent(t, 20); len(got) != 0 {
+		t.Errorf("before a plan is known: %v", got)
 	}
-	now = until
-	run(x, now)
-	if got := sent(60); got["e0"]+got["e1"] != 0 || got["e2"] == 0 {
-		t.Errorf("once it holds no more: %v", got)
+	leaseEnd := r.now + 10*monotime.Second
+	x.ApplyMaintenancePlan(r.now, MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"},
+		LeaseEnd: leaseEnd, DrainDeadline: leaseEnd + monotime.Second})
+	if got := r.sent(t, 60); got["e0"] != 0 || got["e1"]+got["e2"] < 50 {
+		t.Errorf("with one stopped and one announced: %v", got)
 	}
-	x.ApplyMaintenancePlan(now, MaintenancePlan{Announced: []string{"e1"}, LeaseEnd: now + 2*second, DrainDeadline: now + 3*second})
-	c, _ := NewClient(fairqueue.ClientSpec{Weight: 1})
-	call := &Call{Client: c, Pool: p, ID: "open", ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
-	for range 200 { // until one goes to it
-		x.Submit(now, call)
-		if len(h.started) > 0 && h.started[0].Endpoint.Name == "e1" {
-			break
-		}
-		h.served(x, now+20_000)
-		now += 5_000
-		c, _ = NewClient(fairqueue.ClientSpec{Weight: 1})
-		call = &Call{Client: c, Pool: p, ID: "open", ArrivedAt: now, Request: balancer.Request{Tenant: 1, Deadline: now + 60*second}}
+	// One that waits for its connection while the process is suspended must not be sent once it wakes.
+	e1 := p.byName["e1"]
+	if !e1.MaySend(leaseEnd-1) || e1.MaySend(leaseEnd) {
+		t.Error("an announced endpoint may be sent to after the lease, or not before its end")
 	}
-	if x.OpenAttempts([]string{"e1"})["e1"] != 1 {
-		t.Fatalf("nothing is open at e1: %v", x.OpenAttempts([]string{"e0", "e1", "e2"}))
+	r.now = leaseEnd
+	advanceTo(x, r.now)
+	if got := r.sent(t, 60); got["e0"]+got["e1"] != 0 || got["e2"] == 0 {
+		t.Errorf("after the lease: %v", got)
 	}
-	run(x, now+4*second)
+	x.ApplyMaintenancePlan(r.now, MaintenancePlan{Announced: []string{"e1"},
+		LeaseEnd: r.now + 2*monotime.Second, DrainDeadline: r.now + 3*monotime.Second})
+	r.openAttemptAtE1(t)
+	advanceTo(x, r.now+4*monotime.Second)
 	if n := x.OpenAttempts([]string{"e1"})["e1"]; n != 0 {
-		t.Errorf("%d are open there long after the order", n)
+		t.Errorf("%d are open there after the drain deadline", n)
 	}
 }
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -6,23 +6,35 @@
 	"dunlinsail/internal/monotime"
 )
 
-// loaded is a pool whose instance bounds what it adds to the load of endpoints that others load, too (package overload).
+// noField is the index of a figure that load reports do not carry.
+const noField = -1
+
+// overloadLogInterval is how far apart two log lines about changes of the bounds are at least.
+const overloadLogInterval = monotime.Second
+
+// overloadState is the overload control of a pool (package overload): it bounds what the instance adds to the load of
+// endpoints that other instances load, too.
 type overloadState struct {
 	control          *overload.Controller
-	bounds           balancer.Bounds // the balancer's, kept up to date
+	bounds           balancer.Bounds // the balancer reads these, as of the latest refresh
 	decided          overload.Bounds // the same, as decided
-	loggedReason     overload.Reason // in the log
+	loggedReason     overload.Reason
 	loggedAt         monotime.Micros
-	shedRequests     uint64 // requests turned away by the level
-	suppressedProbes uint64 // probes that the budget did not let out
-	inFlightField    int    // places of figures in a load report; -1 is that it has none
-	servedField      int
+	shedRequests     uint64
+	suppressedProbes uint64 // probes that the budget did not allow
+	inFlightField    int    // index of the figure in a load report, or noField
+	servedField      int    // the same
 }
 
+// initOverload makes the pool's overload control.
 func (p *Pool) initOverload(s overload.Settings, seed uint64) error {
 	site := &p.engine.config.Site.Settings
-	s.Seed, s.OverShareWeight = seed, site.OverShareWorth
-	s.Goal = overload.Goal{Overall: site.Goal.Whole + site.Goal.WorstWindow + site.Goal.WorstTenant, WorstClass: site.Goal.WorstClass}
+	s.Seed = seed
+	s.OverShareWeight = site.OverShareWorth
+	s.Goal = overload.Goal{
+		Overall:    site.Goal.Whole + site.Goal.WorstWindow + site.Goal.WorstTenant,
+		WorstClass: site.Goal.WorstClass,
+	}
 	for i := range site.Classes {
 		s.Classes = append(s.Classes, overload.Class{PriorityWeight: site.Classes[i].Worth, LatencyObjective: site.Classes[i].Aim})
 	}
@@ -33,85 +45,111 @@
 	if err != nil {
 		return err
 	}
-	l := &overloadState{control: control, inFlightField: -1, servedField: -1}
-	for i, f := range p.engine.config.Site.Settings.Fields {
-		switch f {
+	p.overload = &overloadState{control: control, inFlightField: noField, servedField: noField}
+	for i, field := range site.Fields {
+		switch field {
 		case balancer.FieldInflight:
-			l.inFlightField = i
+			p.overload.inFlightField = i
 		case balancer.FieldServed:
-			l.servedField = i
+			p.overload.servedField = i
 		}
 	}
-	p.overload = l
 	p.refreshBounds(0)
-	p.balancer.Bound(&l.bounds)
+	p.balancer.Bound(&p.overload.bounds)
 	return nil
 }
 
-// rebound brings the balancer's bounds up to date.
+// refreshBounds brings the balancer's bounds up to date, and logs when their reason changes.
 func (p *Pool) refreshBounds(now monotime.Micros) {
-	l := p.overload
-	b := l.control.Bounds(now)
-	l.bounds = balancer.Bounds{Admit: b.AdmitRatio, Excess: b.ExcessAdmitRatio, Inside: b.WithinShareRatio, Again: b.RepeatAdmitRatio, Waits: b.QueueWaitFraction, First: b.FloorQueueWaitFraction,
-		Floor: b.FloorRatio, PassEvery: b.ForcedAdmitInterval, Further: b.RetryAllowed || p.hasRetryQuota(now), Probes: b.ProbeRate}
-	l.decided = b
-	if b.Reason != l.loggedReason && now-l.loggedAt >= second {
-		l.loggedReason, l.loggedAt = b.Reason, now
-		p.engine.config.Host.Log("overload", "pool", p.name, "reason", b.Reason.String(), "load", b.Load, "let", b.AdmittedRatio, "level", b.Level)
+	o := p.overload
+	b := o.control.Bounds(now)
+	o.bounds = balancer.Bounds{
+		Admit:     b.AdmitRatio,
+		Excess:    b.ExcessAdmitRatio,
+		Inside:    b.WithinShareRatio,
+		Again:     b.RepeatAdmitRatio,
+		Waits:     b.QueueWaitFraction,
+		First:     b.FloorQueueWaitFraction,
+		Floor:     b.FloorRatio,
+		PassEvery: b.ForcedAdmitInterval,
+		Further:   b.RetryAllowed || p.hasRetryQuota(now),
+		Probes:    b.ProbeRate,
+	}
+	o.decided = b
+	if b.Reason != o.loggedReason && now-o.loggedAt >= overloadLogInterval {
+		o.loggedReason = b.Reason
+		o.loggedAt = now
+		p.engine.config.Host.Log("overload", "pool", p.name,
+			"reason", b.Reason.String(), "load", b.Load, "let", b.AdmittedRatio, "level", b.Level)
 	}
 }
 
-// turnsAway answers a request that the overload leaves no room for, and says whether it did.
+// shed rejects a request that overload control does not admit, and reports whether it did.
 func (p *Pool) shed(now monotime.Micros, c *Call) bool {
-	l := p.overload
-	if l == nil {
+	o := p.overload
+	if o == nil {
 		return false
 	}
 	tenant := -1
 	if int(c.Request.Tenant) < len(p.engine.config.Site.Settings.Tenants) {
 		tenant = int(c.Request.Tenant)
 	}
-	l.control.OnRequest(now, int(c.Request.Class), tenant, c.Request.Retry)
+	o.control.OnRequest(now, int(c.Request.Class), tenant, c.Request.Retry)
 	p.refreshBounds(now)
-	after, yes := p.balancer.TurnsAway(c.Request)
-	if yes {
-		l.shedRequests++
-		l.control.OnRejected(now, int(c.Request.Class), false)
-		p.observeRejection(now)
-		p.engine.respond(c, Response{Verdict: Rejected, RetryAfter: after, Reason: "the endpoints cannot do all that is asked for"})
-	}
-	return yes
+	retryAfter, rejected := p.balancer.TurnsAway(c.Request)
+	if !rejected {
+		return false
+	}
+	o.shedRequests++
+	o.control.OnRejected(now, int(c.Request.Class), false)
+	p.observeRejection(now)
+	p.engine.respond(c, Response{
+		Verdict:    Rejected,
+		RetryAfter: retryAfter,
+		Reason:     "the endpoints cannot do all that is asked for",
+	})
+	return true
 }
 
-// attemptEnded tells the control how an attempt ended.
-func (p *Pool) observeAttempt(now monotime.Micros, a *Attempt, r AttemptResult, took monotime.Micros) {
-	l := p.overload
-	if l == nil {
+// observeAttempt passes the outcome of an attempt to overload control.
+func (p *Pool) observeAttempt(now monotime.Micros, a *Attempt, r AttemptResult, latency monotime.Micros) {
+	o := p.overload
+	if o == nil {
 		return
 	}
-	how := overload.Failed
-	switch r.Status {
+	first := a.Number == 0
+	o.control.OnAttemptEnded(now, int(a.Call.Request.Class), first, overloadOutcome(r.Status), latency)
+	o.observeLoad(now, r.Load)
+	p.requestRetryQuota(now, a, r.Status)
+	p.refreshBounds(now)
+}
+
+// overloadOutcome is what the status of an attempt says about the load of its endpoint.
+func overloadOutcome(status balancer.Status) overload.Outcome {
+	switch status {
 	case balancer.OK:
-		how = overload.Answered
+		return overload.Answered
 	case balancer.Full, balancer.Timeout:
-		how = overload.Overloaded
+		return overload.Overloaded
 	case balancer.Cancelled, balancer.Moot:
-		how = overload.Cancelled
+		return overload.Cancelled
+	default:
+		return overload.Failed
 	}
-	l.control.OnAttemptEnded(now, int(a.Call.Request.Class), a.Number == 0, how, took)
-	l.observeLoad(now, r.Load)
-	p.requestRetryQuota(now, a, r.Status)
-	p.refreshBounds(now)
 }
 
-// reported tells the control what an endpoint says of its load.
-func (l *overloadState) observeLoad(now monotime.Micros, load []float32) {
-	if l.inFlightField >= 0 && l.servedField >= 0 && max(l.inFlightField, l.servedField) < len(load) {
-		l.control.OnLoadReport(now, overload.LoadReport{InFlight: float64(load[l.inFlightField]), ServedRate: float64(load[l.servedField])})
+// observeLoad passes a load report to overload control, if it has the figures for that.
+func (o *overloadState) observeLoad(now monotime.Micros, load []float32) {
+	if o.inFlightField == noField || o.servedField == noField || max(o.inFlightField, o.servedField) >= len(load) {
+		return
 	}
+	o.control.OnLoadReport(now, overload.LoadReport{
+		InFlight:   float64(load[o.inFlightField]),
+		ServedRate: float64(load[o.servedField]),
+	})
 }
 
-// probed tells the control what a probe's answer says.
+// observeProbe passes the answer of a probe to overload control.
 func (p *Pool) observeProbe(now monotime.Micros, r *AttemptResult) {
 	if p.overload != nil && r.Status == balancer.OK {
 		p.overload.observeLoad(now, r.Load)
@@ -119,24 +157,25 @@
 	}
 }
 
-// counted tells the control how many endpoints the fleet shares: all that are listed, also where this instance deals with a part.
+// updateEndpointCount tells overload control how many endpoints the fleet shares: all that are listed and ready, also
+// where this instance uses a part of them.
 func (p *Pool) updateEndpointCount() {
 	if p.overload == nil {
 		return
 	}
-	n := 0
+	count := 0
 	if p.subset != nil {
-		for name, m := range p.subset.endpoints {
-			if m.State == balancer.Ready && !p.engine.cordons.Out(name) {
-				n++
+		for name, info := range p.subset.endpoints {
+			if info.State == balancer.Ready && !p.engine.cordons.Out(name) {
+				count++
 			}
 		}
 	} else {
 		for _, e := range p.byName {
 			if e.state == balancer.Ready && !e.excluded {
-				n++
+				count++
 			}
 		}
 	}
-	p.overload.control.SetEndpointCount(n)
+	p.overload.control.SetEndpointCount(count)
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -14,24 +14,37 @@
 
 // PoolConfig is what a pool needs.
 type PoolConfig struct {
-	Name             string
-	Source           string         // where its list comes from: what another pool of this name has learned holds here if it is the same
-	StaticList       bool           // the list is a part of the configuration: another's is not taken over
-	InitialEndpoints EndpointUpdate // the list as last held; perhaps old. Its Kind is not read; a negative Generation is no list
-	Watch            func(on bool)  // asks for the list's changes, or ends that; must not wait
-
-	Subset            *subset.Settings // the instance deals with a part of the list only; nil is with all
-	OnIdleConnections func(n float64)  // told how many idle connections the pool may hold, with Subset; may be nil; must not wait
-
-	Overload *overload.Settings // what the fleet's overload leaves is decided with the others in mind; nil is not. The site's part is filled in
-
-	RetryShare  float64         // retries at its endpoints, as a part of their requests; 0 is the site's
-	RetryWithin monotime.Micros // as balancer.Settings has it
-	RetryLeast  float64
+	Name string
+	// Source identifies where the endpoint list comes from. What another engine learned of a pool holds here if name
+	// and source are the same.
+	Source string
+	// StaticList says that the endpoint list is a part of the configuration: that of a snapshot is not restored.
+	StaticList bool
+
+	// InitialEndpoints is the list as last known, which may be old. Its Kind is not read; a negative Generation is no
+	// list.
+	InitialEndpoints EndpointUpdate
+
+	// Watch starts or stops the watch of the endpoint list. It must not block.
+	Watch func(on bool)
+
+	// Subset has the instance use a part of the endpoint list only; nil is all of it.
+	Subset *subset.Settings
+	// OnIdleConnections is called with how many idle connections the pool may hold, with Subset. It may be nil, and
+	// must not block.
+	OnIdleConnections func(n float64)
+
+	// Overload has requests shed and retries limited by the load that the whole fleet puts on the endpoints; nil is no
+	// such control. The engine sets what the site's settings say.
+	Overload *overload.Settings
+
+	RetryShare  float64         // retries, as a part of the pool's requests; 0 is the site's
+	RetryWithin monotime.Micros // as in balancer.Settings
+	RetryLeast  float64         // as in balancer.Settings
 }
 
-// Pool is a set of endpoints with a balancer, and with places for requests in flight, of its own. Its fields belong
-// to the engine, but for those that do not change.
+// Pool is a set of endpoints with its own balancer, queue and concurrency limit. It belongs to its engine: only Name
+// may be called beside it.
 type Pool struct {
 	engine   *Engine
 	name     string
@@ -39,36 +52,39 @@
 	balancer *balancer.Balancer
 
 	queue         *fairqueue.Scheduler
-	concurrency   *concurrency.Limiter // nil where the number in flight is not learned
-	queueTimer    *timer               // for shares
-	queueTimerDue monotime.Micros
-	dirty         bool
-	source        string
+	concurrency   *concurrency.Limiter // nil where the limit is not learned
+	queueTimer    *timer
+	queueTimerDue monotime.Micros // 0 is no timer
+	dirty         bool            // in the engine's dirtyPools
+	source        string          // of the endpoint list
 
 	byName          map[string]*Endpoint
 	byNumber        map[uint32]*Endpoint
 	lastNumber      uint32
-	endpointList    map[string]EndpointInfo // as held, by name
-	generation      int64                   // of the list
-	subset          *subsetState            // nil where all of the list is dealt with
-	overload        *overloadState          // nil where each request is judged by itself
-	hasFleetBudgets bool                    // its budgets are lent among instances
-
-	openCalls int  // not forgotten
-	closed    bool // nothing new is taken
-	dissolved bool // and nothing is left
+	endpointList    map[string]EndpointInfo // as passed to the balancer, by name
+	generation      int64                   // of the endpoint list
+	subset          *subsetState            // nil where all of the list is used
+	overload        *overloadState          // nil without overload control
+	hasFleetBudgets bool                    // its retries and probes have budgets over the fleet
+
+	openCalls int  // in the request table
+	closed    bool // no request is accepted any more
+	dissolved bool // and none is left
 }
 
-// NewPool makes a pool, or returns the *balancer.SettingError of settings that make no sense. It is the engine's from
-// Begin on; until then it is not, and may be made while the engine is at work elsewhere.
+// NewPool returns a pool, or the *balancer.SettingError of invalid settings. The engine does not know it before Start:
+// NewPool may be called while the engine runs on another goroutine.
 func (x *Engine) NewPool(c PoolConfig) (*Pool, error) {
-	p := &Pool{engine: x, name: c.Name, config: c, source: c.Source, byName: map[string]*Endpoint{}, byNumber: map[uint32]*Endpoint{}, endpointList: map[string]EndpointInfo{}}
-	seed := x.config.Seed
-	if c.Name != "" {
-		h := fnv.New64a()
-		h.Write([]byte(c.Name))
-		seed ^= h.Sum64()
+	p := &Pool{
+		engine:       x,
+		name:         c.Name,
+		config:       c,
+		source:       c.Source,
+		byName:       map[string]*Endpoint{},
+		byNumber:     map[uint32]*Endpoint{},
+		endpointList: map[string]EndpointInfo{},
 	}
+	seed := x.config.Seed ^ poolSeed(c.Name)
 	if err := p.initConcurrency(x.config.Concurrency, seed); err != nil {
 		return nil, err
 	}
@@ -81,13 +97,14 @@
 	if c.RetryShare > 0 {
 		settings.RetryShare = c.RetryShare
 	}
-	settings.RetryWithin, settings.RetryLeast = c.RetryWithin, c.RetryLeast
+	settings.RetryWithin = c.RetryWithin
+	settings.RetryLeast = c.RetryLeast
 	var err error
 	if p.balancer, err = balancer.New(settings, seed, actions{x, p}); err != nil {
 		return nil, err
 	}
 	if c.Overload != nil {
-		// No more is tried again than the pool has without it.
+		// Overload control grants no more retries than the pool has without it.
 		o := *c.Overload
 		if settings.RetryShare > 0 {
 			o.RetryRatio = min(o.RetryRatio, settings.RetryShare)
@@ -100,19 +117,30 @@
 	return p, nil
 }
 
-// Begin adds a pool, with the list that is known.
+// poolSeed is the part of a pool's seed that its name makes: 0 for the pool without a name.
+func poolSeed(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Start adds the pool to its engine, with its initial endpoint list.
 func (p *Pool) Start(now monotime.Micros) {
 	x := p.engine
 	x.now = now
 	x.pools = append(x.pools, p)
 	p.addFleetBudgets()
 	p.balancer.Start(now)
-	if known := p.config.InitialEndpoints; known.Generation >= 0 {
-		known.Kind, known.NewSource = balancer.ListCached, true
-		p.applyUpdate(now, known)
+	if initial := p.config.InitialEndpoints; initial.Generation >= 0 {
+		initial.Kind = balancer.ListCached
+		initial.NewSource = true
+		p.applyUpdate(now, initial)
 	} else {
-		// No list is known: what the first one names has not just appeared.
-		p.generation = known.Generation
+		// No list is known: the endpoints of the first one have not just started.
+		p.generation = initial.Generation
 	}
 	x.dispatchQueued(now)
 }
@@ -120,13 +148,13 @@
 // Name returns the pool's name.
 func (p *Pool) Name() string { return p.name }
 
-// Gone says whether the pool was closed and nothing is left of it.
+// Dissolved reports whether the pool was closed and no request of it is left.
 func (p *Pool) Dissolved() bool { return p.dissolved }
 
-// Moved tells that the list comes from another source from now on.
+// SetSource changes the name of the source of the endpoint list.
 func (p *Pool) SetSource(source string) { p.source = source }
 
-// Close takes nothing new; what is open goes on to its end, at the endpoints of the pool.
+// Close has the pool accept no more requests. Open ones go on at its endpoints until they end.
 func (p *Pool) Close(now monotime.Micros) {
 	p.engine.now = now
 	p.closed = true
@@ -135,7 +163,7 @@
 	p.engine.dispatchQueued(now)
 }
 
-// dissolve lets the endpoints of a closed pool go once nothing is open there.
+// dissolveIfIdle frees the endpoints of a closed pool once it has no open request.
 func (p *Pool) dissolveIfIdle() {
 	if !p.closed || p.dissolved || p.openCalls > 0 {
 		return
@@ -153,5 +181,7 @@
 	for _, e := range p.byName {
 		e.Target.Drop()
 	}
-	p.byName, p.byNumber, p.endpointList = nil, nil, nil
+	p.byName = nil
+	p.byNumber = nil
+	p.endpointList = nil
 }
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -8,102 +8,147 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Restore takes over what another engine held so long ago, and returns what was passed over. It is meant for one that
-// has no request open. A pool takes over from the one of its name, if both have their lists from the same source; the
-// list counts if it is not older than its own.
-func (x *Engine) Restore(now, age monotime.Micros, s *Snapshot) (passedOver []string) {
+// Restore takes over what another engine held at an instant that is age ago, and returns which parts were skipped. It
+// is meant for an engine without open requests. A pool takes over from the one of its name, if both have their endpoint
+// lists from the same source; the list itself is applied if it is not older than the pool's own.
+func (x *Engine) Restore(now, age monotime.Micros, s *Snapshot) (skipped []string) {
 	x.now = now
 	x.RestoreCoordination(now, age, s.Fleet)
-	for _, w := range s.Cordons {
-		x.ReceiveCordon(now, w)
+	for _, entry := range s.Cordons {
+		x.ReceiveCordon(now, entry)
 	}
 	for _, p := range x.pools {
 		from := s.Pool(p.name)
-		switch {
-		case p.closed || from == nil:
+		if p.closed || from == nil {
 			continue
-		case from.Source != p.source:
-			passedOver = append(passedOver, fmt.Sprintf("pool %q: its list is that of %s, not of %s", p.name, from.Source, p.source))
+		}
+		if from.Source != p.source {
+			skipped = append(skipped,
+				fmt.Sprintf("pool %q: its list is that of %s, not of %s", p.name, from.Source, p.source))
 			continue
 		}
 		if from.Generation >= p.generation && !p.config.StaticList {
-			p.applyUpdate(now, EndpointUpdate{Kind: balancer.ListCached, Generation: from.Generation, Endpoints: from.Endpoints})
+			p.applyUpdate(now, EndpointUpdate{
+				Kind:       balancer.ListCached,
+				Generation: from.Generation,
+				Endpoints:  from.Endpoints,
+			})
 		}
 		for _, part := range p.restore(now, age, from) {
 			if p.name != "" {
 				part = fmt.Sprintf("pool %q: %s", p.name, part)
 			}
-			passedOver = append(passedOver, part)
+			skipped = append(skipped, part)
 		}
 	}
 	x.dispatchQueued(now)
-	return passedOver
+	return skipped
+}
+
+// notFound is the index of a class or tenant that a snapshot does not have, or has with other settings.
+const notFound = -1
+
+// poolRestore is a snapshot on its way into a pool.
+type poolRestore struct {
+	pool *Pool
+	from *PoolSnapshot
+	// learned is what the balancer restores: the snapshot's, arranged by the pool's own classes, tenants and endpoints.
+	learned balancer.Learned
+	// indices are the snapshot's index of each of the pool's classes, followed by those of its tenants, or notFound. A
+	// tenant's index counts on from the snapshot's classes, as balancer.LearnedEndpoint.Parts does.
+	indices []int
+	skipped []string
 }
 
-func (p *Pool) restore(now, age monotime.Micros, s *PoolSnapshot) (passedOver []string) {
-	if s.Learned == nil || len(s.LearnedNames) != len(s.Learned.Endpoints) || len(s.Learned.Classes) != len(s.Classes) {
+// restore takes over what a pool of another engine had learned, and returns which parts were skipped.
+func (p *Pool) restore(now, age monotime.Micros, from *PoolSnapshot) (skipped []string) {
+	learned := from.Learned
+	if learned == nil || len(from.LearnedNames) != len(learned.Endpoints) || len(learned.Classes) != len(from.Classes) {
 		return []string{"all that was learned"}
 	}
-	if p.overload != nil && s.OverloadLevel > 0 {
-		p.overload.control.RestoreLevel(s.OverloadLevel)
+	if p.overload != nil && from.OverloadLevel > 0 {
+		p.overload.control.RestoreLevel(from.OverloadLevel)
 	}
-	settings := &p.engine.config.Site.Settings
-	l := *s.Learned
-	l.Classes, l.Endpoints, l.Tenants = nil, nil, nil
-	from := make([]int, 0, len(settings.Classes)+len(settings.Tenants)) // places of our parts among theirs, or -1
-	for i, name := range p.engine.config.Site.Classes {
-		at := slices.IndexFunc(s.Classes, func(c LearnedClass) bool {
-			return c.Name == name && c.Fingerprint == classFingerprint(&settings.Classes[i])
+	r := &poolRestore{pool: p, from: from, learned: *learned}
+	r.learned.Classes = nil
+	r.learned.Endpoints = nil
+	r.learned.Tenants = nil
+	r.classes()
+	r.tenants()
+	r.endpoints()
+	p.balancer.Restore(now, age, &r.learned)
+	if p.concurrency != nil {
+		p.concurrency.Restore(now, from.ConcurrencyLimit, r.unloadedLatency())
+	}
+	return r.skipped
+}
+
+// classes restores what was learned of classes with the same settings.
+func (r *poolRestore) classes() {
+	site := r.pool.engine.config.Site
+	for i, name := range site.Classes {
+		index := slices.IndexFunc(r.from.Classes, func(c LearnedClass) bool {
+			return c.Name == name && c.Fingerprint == classFingerprint(&site.Settings.Classes[i])
 		})
-		from = append(from, at)
-		if at < 0 {
-			passedOver = append(passedOver, "class "+name)
-			l.Classes = append(l.Classes, balancer.LearnedClass{})
+		r.indices = append(r.indices, index)
+		if index == notFound {
+			r.skipped = append(r.skipped, "class "+name)
+			r.learned.Classes = append(r.learned.Classes, balancer.LearnedClass{})
 			continue
 		}
-		l.Classes = append(l.Classes, s.Learned.Classes[at])
-		p.queue.RestoreServiceTime(i, s.Classes[at].ServiceTimes)
+		r.learned.Classes = append(r.learned.Classes, r.from.Learned.Classes[index])
+		r.pool.queue.RestoreServiceTime(i, r.from.Classes[index].ServiceTimes)
 	}
-	for i, name := range p.engine.config.Site.Tenants {
-		at := slices.IndexFunc(s.Tenants, func(t LearnedTenant) bool {
-			return t.Name == name && t.Fingerprint == tenantFingerprint(&settings.Tenants[i])
+}
+
+// tenants restores the rates of tenants with the same settings.
+func (r *poolRestore) tenants() {
+	site := r.pool.engine.config.Site
+	for i, name := range site.Tenants {
+		index := slices.IndexFunc(r.from.Tenants, func(t LearnedTenant) bool {
+			return t.Name == name && t.Fingerprint == tenantFingerprint(&site.Settings.Tenants[i])
 		})
 		rate := 0.0
-		if at >= 0 && at < len(s.Learned.Tenants) {
-			rate = s.Learned.Tenants[at]
+		if index != notFound && index < len(r.from.Learned.Tenants) {
+			rate = r.from.Learned.Tenants[index]
 		}
-		l.Tenants = append(l.Tenants, rate)
-		if at >= 0 {
-			at += len(s.Classes)
+		r.learned.Tenants = append(r.learned.Tenants, rate)
+		if index == notFound {
+			r.skipped = append(r.skipped, "tenant "+name)
 		} else {
-			passedOver = append(passedOver, "tenant "+name)
+			index += len(r.from.Classes)
 		}
-		from = append(from, at)
+		r.indices = append(r.indices, index)
 	}
-	for i, e := range s.Learned.Endpoints {
-		own := p.byName[s.LearnedNames[i]]
-		if own == nil {
+}
+
+// endpoints restores what was learned of endpoints that are still listed.
+func (r *poolRestore) endpoints() {
+	for i, learned := range r.from.Learned.Endpoints {
+		e := r.pool.byName[r.from.LearnedNames[i]]
+		if e == nil {
 			continue // gone since
 		}
-		e.ID = own.Number
-		theirs := e.Parts
-		e.Parts = make([]balancer.Ejection, len(from))
-		for i, at := range from {
-			if at >= 0 && at < len(theirs) {
-				e.Parts[i] = theirs[at]
+		learned.ID = e.Number
+		parts := make([]balancer.Ejection, len(r.indices))
+		for k, index := range r.indices {
+			if index != notFound && index < len(learned.Parts) {
+				parts[k] = learned.Parts[index]
 			}
 		}
-		l.Endpoints = append(l.Endpoints, e)
+		learned.Parts = parts
+		r.learned.Endpoints = append(r.learned.Endpoints, learned)
 	}
-	p.balancer.Restore(now, age, &l)
-	if p.concurrency != nil {
-		alone := make([]float64, len(p.engine.config.Site.Classes))
-		for i, name := range p.engine.config.Site.Classes {
-			if from[i] >= 0 {
-				alone[i] = s.UnloadedLatency[name]
-			}
+}
+
+// unloadedLatency returns the latencies of the pool's classes, 0 for those that were skipped.
+func (r *poolRestore) unloadedLatency() []float64 {
+	names := r.pool.engine.config.Site.Classes
+	latency := make([]float64, len(names))
+	for i, name := range names {
+		if r.indices[i] != notFound {
+			latency[i] = r.from.UnloadedLatency[name]
 		}
-		p.concurrency.Restore(now, s.ConcurrencyLimit, alone)
 	}
-	return passedOver
+	return latency
 }
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -12,18 +12,22 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Snapshot is what an engine holds that another which takes its place should know: of each pool the list and what was
-// learned, by names, since the numbers of one engine mean nothing to another. Parts that do not fit the other's settings
-// are passed over there, part by part.
+// Snapshot is what an engine holds that a successor needs: for each pool its endpoint list and what was learned. It
+// refers to endpoints, classes and tenants by name, since numbers differ between engines. A successor with other
+// settings skips the parts that do not fit.
+//
+// Predecessor and successor may be different builds: the names in the tags are the stored form, and never change.
 type Snapshot struct {
 	Pools   []PoolSnapshot `json:"Pools"`
-	Cordons []cordon.Word  `json:"Words"` // on endpoints by hand
+	Cordons []cordon.Word  `json:"Words"`
 
-	Fleet       *quota.State     `json:"Fleet,omitempty"` // what GiveFleet returned; nil is nothing
-	Maintenance *MaintenancePlan `json:"Order,omitempty"` // what is obeyed of machines out, with times from the snapshot's instant on; nil is nothing
+	// Fleet is what HandOverCoordination returned; nil is nothing.
+	Fleet *quota.State `json:"Fleet,omitempty"`
+	// Maintenance is the plan in force, with times relative to the instant of the snapshot; nil is none.
+	Maintenance *MaintenancePlan `json:"Order,omitempty"`
 }
 
-// Pool returns what is held of a pool by its name, nil if nothing is.
+// Pool returns the snapshot of a pool by its name, or nil.
 func (s *Snapshot) Pool(name string) *PoolSnapshot {
 	for i := range s.Pools {
 		if s.Pools[i].Name == name {
@@ -36,51 +40,53 @@
 // PoolSnapshot is what a pool holds.
 type PoolSnapshot struct {
 	Name       string         `json:"Name"`
-	Source     string         `json:"Source"`
+	Source     string         `json:"Source"` // of the endpoint list
 	Generation int64          `json:"Generation"`
-	Endpoints  []EndpointInfo `json:"Members"`
+	Endpoints  []EndpointInfo `json:"Members"` // the full list
 
 	Classes      []LearnedClass    `json:"Classes"`
 	Tenants      []LearnedTenant   `json:"Tenants"`
 	LearnedNames []string          `json:"Names"` // of the endpoints in Learned, in its order
 	Learned      *balancer.Learned `json:"Learned"`
 
-	OverloadLevel    float64            `json:"Level"` // of the overload (package overload); 0 where that is not decided
-	ConcurrencyLimit float64            `json:"Limit"` // requests in flight; 0 where that is not learned
-	UnloadedLatency  map[string]float64 `json:"Alone"` // time of a class's request with hardly any others, in microseconds
+	OverloadLevel    float64            `json:"Level"` // of package overload; 0 without overload control
+	ConcurrencyLimit float64            `json:"Limit"` // requests in flight; 0 where it is not learned
+	UnloadedLatency  map[string]float64 `json:"Alone"` // by class, of requests with hardly any others, in microseconds
 }
 
-// ClassLearned is what is known of a class. Meaning tells whether another's class of this name is the same.
+// LearnedClass is what was learned of a class.
 type LearnedClass struct {
 	Name         string                `json:"Name"`
-	Fingerprint  string                `json:"Meaning"`
+	Fingerprint  string                `json:"Meaning"` // of its settings: what was learned holds for equal settings only
 	ServiceTimes fairqueue.ServiceTime `json:"Times"`
 }
 
-// TenantLearned is a tenant of the settings.
+// LearnedTenant is a tenant that the learned rates belong to.
 type LearnedTenant struct {
 	Name        string `json:"Name"`
-	Fingerprint string `json:"Meaning"`
+	Fingerprint string `json:"Meaning"` // of its settings
 }
 
-// The stored forms of a class and of a tenant. Two builds compare them for equality, so the names in them are those of the first
-// build that wrote them, and never change.
+// The stored forms of the settings of a class and of a tenant. Two builds compare them for equality, so the names in
+// them are those of the first build that wrote them, and never change.
 const (
-	classFingerprintFormat  = "{Name:%v Repeat:%v Group:%v Window:%v Aim:%v GiveUp:%v Worth:%v LateWorth:%v Stream:%v}"
+	classFingerprintFormat = "{Name:%v Repeat:%v Group:%v Window:%v Aim:%v GiveUp:%v " +
+		"Worth:%v LateWorth:%v Stream:%v}"
 	tenantFingerprintFormat = "{Name:%v Allowance:%v Share:%v}"
 )
 
-// classMeaning is what a class is, apart from its place.
+// classFingerprint identifies the settings of a class.
 func classFingerprint(c *balancer.Class) string {
-	return fmt.Sprintf(classFingerprintFormat, c.Name, c.Repeat, c.Group, c.Window, c.Aim, c.GiveUp, c.Worth, c.LateWorth, c.Stream)
+	return fmt.Sprintf(classFingerprintFormat,
+		c.Name, c.Repeat, c.Group, c.Window, c.Aim, c.GiveUp, c.Worth, c.LateWorth, c.Stream)
 }
 
-// tenantMeaning is what a tenant is, apart from its place.
+// tenantFingerprint identifies the settings of a tenant.
 func tenantFingerprint(t *balancer.Tenant) string {
 	return fmt.Sprintf(tenantFingerprintFormat, t.Name, t.Allowance, t.Share)
 }
 
-// Snapshot returns what the engine holds.
+// Snapshot returns what the engine holds, but for Fleet and Maintenance, which its owner adds.
 func (x *Engine) Snapshot(now monotime.Micros) *Snapshot {
 	s := &Snapshot{Cordons: x.cordons.Words()}
 	for _, p := range x.pools {
@@ -91,42 +97,31 @@
 	return s
 }
 
-// HandOver leaves what cold endpoints may still get to who takes over a snapshot of this instant, or ends that: then what
-// they were to get counts as spent.
-func (x *Engine) TransferWarmupBudget(now monotime.Micros, yes bool) {
+// TransferWarmupBudget leaves the requests that endpoints that are warming up may still get to the successor that
+// restores a snapshot of this instant. With transferred false it ends that: the requests then count as sent.
+func (x *Engine) TransferWarmupBudget(now monotime.Micros, transferred bool) {
 	for _, p := range x.pools {
-		p.balancer.HandOver(now, yes)
+		p.balancer.HandOver(now, transferred)
 	}
 }
 
+// snapshot returns what the pool holds.
 func (p *Pool) snapshot(now monotime.Micros) *PoolSnapshot {
-	s := &PoolSnapshot{Name: p.name, Source: p.source, Generation: p.generation, Learned: p.balancer.Learned(now)}
-	list := p.endpointList
-	if p.subset != nil {
-		list = p.subset.endpoints
-	}
-	for _, m := range list {
-		s.Endpoints = append(s.Endpoints, m)
-	}
-	slices.SortFunc(s.Endpoints, func(a, b EndpointInfo) int {
-		if p.subset != nil { // not all of them have numbers
-			return strings.Compare(a.Name, b.Name)
-		}
-		return int(p.byName[a.Name].Number) - int(p.byName[b.Name].Number)
-	})
-	times := p.queue.ServiceTimes()
-	settings := &p.engine.config.Site.Settings
-	for i := range settings.Classes {
-		s.Classes = append(s.Classes, LearnedClass{p.engine.config.Site.Classes[i], classFingerprint(&settings.Classes[i]), times[i]})
-	}
-	for i := range settings.Tenants {
-		s.Tenants = append(s.Tenants, LearnedTenant{p.engine.config.Site.Tenants[i], tenantFingerprint(&settings.Tenants[i])})
+	s := &PoolSnapshot{
+		Name:       p.name,
+		Source:     p.source,
+		Generation: p.generation,
+		Endpoints:  p.sortedEndpoints(),
+		Learned:    p.balancer.Learned(now),
 	}
+	p.addLearnedSettings(s)
 	names := map[uint32]string{}
 	for name, e := range p.byName {
 		names[e.Number] = name
 	}
-	s.Learned.Endpoints = slices.DeleteFunc(s.Learned.Endpoints, func(e balancer.LearnedEndpoint) bool { return names[e.ID] == "" })
+	s.Learned.Endpoints = slices.DeleteFunc(s.Learned.Endpoints, func(e balancer.LearnedEndpoint) bool {
+		return names[e.ID] == ""
+	})
 	for _, e := range s.Learned.Endpoints {
 		s.LearnedNames = append(s.LearnedNames, names[e.ID])
 	}
@@ -134,11 +129,46 @@
 		s.OverloadLevel = p.overload.control.Level()
 	}
 	if p.concurrency != nil {
-		value, alone := p.concurrency.Learned()
-		s.ConcurrencyLimit, s.UnloadedLatency = value, map[string]float64{}
+		limit, unloaded := p.concurrency.Learned()
+		s.ConcurrencyLimit = limit
+		s.UnloadedLatency = map[string]float64{}
 		for i, name := range p.engine.config.Site.Classes {
-			s.UnloadedLatency[name] = alone[i]
+			s.UnloadedLatency[name] = unloaded[i]
 		}
 	}
 	return s
 }
+
+// sortedEndpoints returns the full endpoint list: by number, or by name where not all of it have numbers.
+func (p *Pool) sortedEndpoints() []EndpointInfo {
+	var all []EndpointInfo
+	for _, info := range p.fullEndpointList() {
+		all = append(all, info)
+	}
+	slices.SortFunc(all, func(a, b EndpointInfo) int {
+		if p.subset != nil {
+			return strings.Compare(a.Name, b.Name)
+		}
+		return int(p.byName[a.Name].Number) - int(p.byName[b.Name].Number)
+	})
+	return all
+}
+
+// addLearnedSettings adds the classes with what was learned of them, and the tenants.
+func (p *Pool) addLearnedSettings(s *PoolSnapshot) {
+	site := p.engine.config.Site
+	times := p.queue.ServiceTimes()
+	for i := range site.Settings.Classes {
+		s.Classes = append(s.Classes, LearnedClass{
+			Name:         site.Classes[i],
+			Fingerprint:  classFingerprint(&site.Settings.Classes[i]),
+			ServiceTimes: times[i],
+		})
+	}
+	for i := range site.Settings.Tenants {
+		s.Tenants = append(s.Tenants, LearnedTenant{
+			Name:        site.Tenants[i],
+			Fingerprint: tenantFingerprint(&site.Settings.Tenants[i]),
+		})
+	}
+}
