--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -7,21 +7,17 @@
 	"os"
 	"path/filepath"
 	"reflect"
-	"slices"
 	"strings"
 	"testing"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/concurrency"
-	"dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
-	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/monotime"
 )
 
-// The files in testdata were written by the build of commit 870f4ac, before any stored name was written down as a tag. A process
-// of that build and one of this build may replace each other, so the files must never be written anew.
+// The files in testdata were written by the build of commit 870f4ac, before any stored name was written down as a tag.
+// A process of that build and one of this build may replace each other, so the files must never be written anew.
 
 func golden(t *testing.T, name string) []byte {
 	t.Helper()
@@ -107,8 +103,9 @@
 	return s
 }
 
-// A snapshot in which every field has a value is written, byte for byte, as the build before wrote it, and read in full.
-func TestSnapshotFormHasNotChanged(t *testing.T) {
+// A snapshot in which every field has a value is written, byte for byte, as the build before wrote it, and read in
+// full.
+func TestSnapshotEncodingIsStable(t *testing.T) {
 	want := golden(t, "snapshot-filled.json")
 	s := filledSnapshot(t)
 	if got := encodeSnapshot(t, s); !bytes.Equal(got, want) {
@@ -123,8 +120,9 @@
 	}
 }
 
-// A snapshot without anything in it is written as the build before wrote it: what is left out when empty, and what is null.
-func TestEmptySnapshotFormHasNotChanged(t *testing.T) {
+// A snapshot without anything in it is written as the build before wrote it: what is left out when empty, and what is
+// null.
+func TestEmptySnapshotEncodingIsStable(t *testing.T) {
 	want := golden(t, "snapshot-empty.json")
 	if got := encodeSnapshot(t, &Snapshot{Pools: []PoolSnapshot{{}}}); !bytes.Equal(got, want) {
 		t.Errorf("written as\n%s\nwant\n%s", got, want)
@@ -134,24 +132,32 @@
 	}
 }
 
-// goldenEngine is an engine with all that a snapshot holds: tenants, an overload level, a limit that is learned, a part in a fleet.
-func goldenEngine(t *testing.T) (*Engine, *Pool, *carrier) {
+// goldenEngine is an engine with all that a snapshot holds: tenants, an overload level, a limit that is learned, a part
+// in a fleet.
+func goldenEngine(t *testing.T) (*Engine, *Pool, *recordingHost) {
 	t.Helper()
-	h := &carrier{answers: map[string]Response{}}
+	h := &recordingHost{responses: map[string]Response{}}
 	s := tenantSite(10, 1, 0)
 	s.Settings.Fields = []balancer.Field{balancer.FieldInflight, balancer.FieldServed, balancer.FieldUtil}
-	s.Settings.Contract.RampTime = 20 * second
-	x := New(Config{Site: s, Seed: 3, Host: h, Concurrency: ConcurrencySettings{MaxOpen: 1000, Adaptive: &concurrency.Settings{Min: 1, Max: 200, Initial: 20}}})
-	uses := CoordinationScope{Retries: true, Probes: true, TenantLimits: true, OverloadLevel: true, SuspectedEndpoints: true}
-	err := x.JoinFleet(Coordination{Scope: uses, Send: func(string, coordination.Word) {}, NextIncarnation: func() uint64 { return 7 },
-		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: second,
-			Loans: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}})
+	s.Settings.Contract.RampTime = 20 * monotime.Second
+	x := New(Config{Site: s, Seed: 3, Host: h, Concurrency: ConcurrencySettings{
+		MaxOpen:  1000,
+		Adaptive: &concurrency.Settings{Min: 1, Max: 200, Initial: 20},
+	}})
+	err := x.JoinFleet(fleetOfOne(CoordinationScope{Retries: true, Probes: true, TenantLimits: true,
+		OverloadLevel: true, SuspectedEndpoints: true}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	o := overload.DefaultSettings()
 	o.Instances = 1
-	p, err := x.NewPool(PoolConfig{Name: "front", Source: "test", InitialEndpoints: EndpointUpdate{Generation: -1}, Watch: func(bool) {}, Overload: &o})
+	p, err := x.NewPool(PoolConfig{
+		Name:             "front",
+		Source:           "test",
+		InitialEndpoints: EndpointUpdate{Generation: -1},
+		Watch:            func(bool) {},
+		Overload:         &o,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,40 +166,41 @@
 }
 
 // goldenRun has the engine serve requests for a while, some of which fail, and returns when that is over.
-func goldenRun(t *testing.T, x *Engine, p *Pool, h *carrier) monotime.Micros {
+func goldenRun(t *testing.T, x *Engine, p *Pool, h *recordingHost) monotime.Micros {
 	t.Helper()
 	var list []EndpointInfo
 	for i := range 4 {
-		list = append(list, EndpointInfo{Name: fmt.Sprint("e", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: "z", Kind: "k", Cell: uint16(i), Weight: 1})
+		list = append(list, EndpointInfo{Name: fmt.Sprint("e", i), Addr: fmt.Sprintf("10.0.0.%d:80", i),
+			Zone: "z", Kind: "k", Cell: uint16(i), Weight: 1})
 	}
 	p.UpdateEndpoints(0, EndpointUpdate{Kind: balancer.ListFull, Generation: 1, Endpoints: list})
 	x.StartCoordination(0)
 	now := monotime.Micros(0)
 	for i := range 3000 {
-		now += second / 100
-		run(x, now)
+		now += monotime.Second / 100
+		advanceTo(x, now)
 		if i == 2900 { // one that is still warming up when the snapshot is taken
+			fresh := EndpointInfo{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, StartedAt: now}
 			p.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListDelta, Generation: 2,
-				Endpoints: []EndpointInfo{{Name: "e4", Addr: "10.0.0.4:80", Zone: "z", Kind: "k", Weight: 1, StartedAt: now}}})
+				Endpoints: []EndpointInfo{fresh}})
 		}
-		c, err := NewClient(fairqueue.ClientSpec{Weight: 1})
-		if err != nil {
-			t.Fatal(err)
-		}
-		x.Submit(now, &Call{Client: c, Pool: p, ID: fmt.Sprint(i), ArrivedAt: now,
-			Request: balancer.Request{Class: uint8(i % 2), Tenant: uint16(i % 3 % 2), Deadline: now + 500_000}})
-		for n := 0; len(h.started) > 0; n++ {
-			a := h.started[0]
-			h.started = slices.Delete(h.started, 0, 1)
-			reply := AttemptResult{Status: balancer.OK, At: now + 3000 + monotime.Micros(i%7)*1000, Load: []float32{float32(i % 5), 20, 0.5}}
+		request := balancer.Request{Class: uint8(i % 2), Tenant: uint16(i % 3 % 2), Deadline: now + 500_000}
+		x.Submit(now, newCall(t, p, now, fmt.Sprint(i), request))
+		for len(h.started) > 0 {
+			a := h.nextAttempt()
+			result := AttemptResult{
+				Status: balancer.OK,
+				At:     now + 3000 + monotime.Micros(i%7)*1000,
+				Load:   []float32{float32(i % 5), 20, 0.5},
+			}
 			if a.Endpoint.Name == "e1" && i%4 != 0 {
-				reply.Status = balancer.Error
+				result.Status = balancer.Error
 			}
-			x.AttemptEnded(reply.At, a, reply)
+			x.AttemptEnded(result.At, a, result)
 		}
 	}
-	now += second / 100
-	run(x, now)
+	now += monotime.Second / 100
+	advanceTo(x, now)
 	if _, known := x.SetCordon(now, "e3", true, now); !known {
 		t.Fatal("e3 is not known")
 	}
@@ -206,26 +213,27 @@
 	now := goldenRun(t, x, p, h)
 	s := x.Snapshot(now)
 	s.Fleet = x.HandOverCoordination(now)
-	s.Maintenance = &MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"}, LeaseEnd: now + second, DrainDeadline: now + 2*second}
+	s.Maintenance = &MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"},
+		LeaseEnd: now + monotime.Second, DrainDeadline: now + 2*monotime.Second}
 	return s, now
 }
 
 // What an engine has learned is written as the build before wrote it.
-func TestSnapshotOfARunHasNotChanged(t *testing.T) {
+func TestSnapshotOfRunIsStable(t *testing.T) {
 	s, _ := goldenSnapshot(t)
 	if got, want := encodeSnapshot(t, s), golden(t, "snapshot-run.json"); !bytes.Equal(got, want) {
 		t.Errorf("written as\n%s\nwant\n%s", got, want)
 	}
 }
 
-// What the build before wrote is taken over in full, and what the engine then holds is written as the build before wrote it after
-// the same takeover.
-func TestRestoresSnapshotOfTheBuildBefore(t *testing.T) {
+// What the build before wrote is taken over in full, and what the engine then holds is written as the build before
+// wrote it after the same takeover.
+func TestRestoresSnapshotOfEarlierBuild(t *testing.T) {
 	s := decodeSnapshot(t, golden(t, "snapshot-run.json"))
 	_, now := goldenSnapshot(t)
 	x, _, _ := goldenEngine(t)
-	if passedOver := x.Restore(now+1000, 1000, s); len(passedOver) != 0 {
-		t.Errorf("passed over: %q", passedOver)
+	if skipped := x.Restore(now+1000, 1000, s); len(skipped) != 0 {
+		t.Errorf("skipped: %q", skipped)
 	}
 	again := x.Snapshot(now + 1000)
 	again.Fleet = x.HandOverCoordination(now + 1000)
@@ -236,7 +244,7 @@
 }
 
 // The stored form of a class, by which two builds tell whether they mean the same, was %+v in the build before.
-func TestClassMeaningHasNotChanged(t *testing.T) {
+func TestClassFingerprintIsStable(t *testing.T) {
 	for _, c := range []struct {
 		class balancer.Class
 		want  string
@@ -248,8 +256,10 @@
 		{balancer.Class{Name: "a class", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 60_000_000,
 			Aim: 1, GiveUp: -1, Worth: 1e21, LateWorth: 1e-7, Stream: true},
 			"{Name:a class Repeat:1 Group:2 Window:60000000 Aim:1 GiveUp:-1 Worth:1e+21 LateWorth:1e-07 Stream:true}"},
-		{balancer.Class{Name: "x", Repeat: balancer.Unsafe, Group: balancer.GroupZone, Worth: 123456789.125, LateWorth: 1.0 / 3},
-			"{Name:x Repeat:2 Group:1 Window:0 Aim:0 GiveUp:0 Worth:1.23456789125e+08 LateWorth:0.3333333333333333 Stream:false}"},
+		{balancer.Class{Name: "x", Repeat: balancer.Unsafe, Group: balancer.GroupZone,
+			Worth: 123456789.125, LateWorth: 1.0 / 3},
+			"{Name:x Repeat:2 Group:1 Window:0 Aim:0 GiveUp:0 Worth:1.23456789125e+08 " +
+				"LateWorth:0.3333333333333333 Stream:false}"},
 		{balancer.Class{Name: "{\n%v", Worth: 1e20, LateWorth: 0.0001},
 			"{Name:{\n%v Repeat:0 Group:0 Window:0 Aim:0 GiveUp:0 Worth:1e+20 LateWorth:0.0001 Stream:false}"},
 	} {
@@ -260,7 +270,7 @@
 }
 
 // The stored form of a tenant was %+v, too.
-func TestTenantMeaningHasNotChanged(t *testing.T) {
+func TestTenantFingerprintIsStable(t *testing.T) {
 	for _, c := range []struct {
 		tenant balancer.Tenant
 		want   string
@@ -277,10 +287,13 @@
 }
 
 // A field that is added to a class or a tenant belongs into its stored form.
-func TestMeaningHasAllFields(t *testing.T) {
-	for form, v := range map[string]any{classFingerprintFormat: balancer.Class{}, tenantFingerprintFormat: balancer.Tenant{}} {
-		if written, fields := strings.Count(form, "%v"), reflect.TypeOf(v).NumField(); written != fields {
-			t.Errorf("%T: %d of %d fields are written", v, written, fields)
+func TestFingerprintsHaveAllFields(t *testing.T) {
+	for format, settings := range map[string]any{
+		classFingerprintFormat:  balancer.Class{},
+		tenantFingerprintFormat: balancer.Tenant{},
+	} {
+		if written, fields := strings.Count(format, "%v"), reflect.TypeOf(settings).NumField(); written != fields {
+			t.Errorf("%T: %d of %d fields are written", settings, written, fields)
 		}
 	}
 }
--- a/internal/engine/statistics.go
+++ b/internal/engine/statistics.go
@@ -6,48 +6,55 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Figures are what an engine shows of itself, of one instant.
+// Statistics are figures of an engine at one instant.
 type Statistics struct {
-	ListedEndpoints  int // endpoints in the lists of all pools
-	AvoidedEndpoints int // of these, those that get nothing now by hand or by choice
+	ListedEndpoints  int // in the lists of all pools
+	AvoidedEndpoints int // of these, those that get nothing now: cordoned, draining or ejected
 
-	// Of the overload (package overload), where it is decided.
-	OverloadControlled bool
-	OverloadLevel      float64 // the lowest of all pools
-	ShedRequests       uint64  // requests turned away by it so far
-	SuppressedProbes   uint64  // probes that the budget did not let out so far
+	// Of overload control (package overload).
+	OverloadControlled bool    // it is in use
+	OverloadLevel      float64 // the part of the load that is admitted, 0 to 1: the lowest of all pools
+	ShedRequests       uint64  // requests rejected by it so far
+	SuppressedProbes   uint64  // probes that its budget did not allow so far
 
-	// Of what is decided with the others of the fleet.
+	// Of coordination with the other instances of the fleet.
 	HasTenantLimits    bool   // tenants have limits
-	RequestsOverLimit  uint64 // requests beyond them so far
-	QuotaLeased        bool   // a loan is in force
-	SuspectedEndpoints int    // classes at endpoints that are better left out, by what all have seen
+	RequestsOverLimit  uint64 // requests rejected by these so far
+	QuotaLeased        bool   // a quota lease is in force
+	SuspectedEndpoints int    // pairs of a class and an endpoint that are avoided by the evidence of all instances
 }
 
-// Figures returns them.
-func (x *Engine) Statistics(now monotime.Micros) (f Statistics) {
-	if t := x.fleet; t != nil {
-		f.HasTenantLimits, f.RequestsOverLimit, f.SuspectedEndpoints = slices.ContainsFunc(t.tenantBudgets, func(b string) bool { return b != "" }), t.requestsOverLimit, len(t.suspicions)
-		f.QuotaLeased = t.member.View(now).Loan > 0
+// Statistics returns the figures of an instant.
+func (x *Engine) Statistics(now monotime.Micros) (s Statistics) {
+	if f := x.fleet; f != nil {
+		s.HasTenantLimits = slices.ContainsFunc(f.tenantBudgets, func(budget string) bool { return budget != "" })
+		s.RequestsOverLimit = f.requestsOverLimit
+		s.SuspectedEndpoints = len(f.suspicions)
+		s.QuotaLeased = f.member.View(now).Loan > 0
 	}
 	for _, p := range x.pools {
-		f.ListedEndpoints += len(p.byName)
-		if p.subset != nil {
-			f.ListedEndpoints += len(p.subset.endpoints) - len(p.byName)
-		}
-		if l := p.overload; l != nil {
-			if !f.OverloadControlled || l.decided.Level < f.OverloadLevel {
-				f.OverloadLevel = l.decided.Level
-			}
-			f.OverloadControlled = true
-			f.ShedRequests += l.shedRequests
-			f.SuppressedProbes += l.suppressedProbes
+		p.addStatistics(now, &s)
+	}
+	return s
+}
+
+// addStatistics adds a pool's part.
+func (p *Pool) addStatistics(now monotime.Micros, s *Statistics) {
+	s.ListedEndpoints += len(p.byName)
+	if p.subset != nil {
+		s.ListedEndpoints += len(p.subset.endpoints) - len(p.byName)
+	}
+	if o := p.overload; o != nil {
+		if !s.OverloadControlled || o.decided.Level < s.OverloadLevel {
+			s.OverloadLevel = o.decided.Level
 		}
-		for _, e := range p.byName {
-			if p.balancer.Avoids(now, e.Number) {
-				f.AvoidedEndpoints++
-			}
+		s.OverloadControlled = true
+		s.ShedRequests += o.shedRequests
+		s.SuppressedProbes += o.suppressedProbes
+	}
+	for _, e := range p.byName {
+		if p.balancer.Avoids(now, e.Number) {
+			s.AvoidedEndpoints++
 		}
 	}
-	return f
 }
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -12,236 +12,295 @@
 	"dunlinsail/internal/monotime"
 )
 
-// text is a hash of a text.
-func hashString(s string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(s))
-	return h.Sum32()
-}
+const (
+	// unhealthyAfterFailures is how many failures in a row make an endpoint unhealthy for the subset: as many as make
+	// the balancer eject it.
+	unhealthyAfterFailures = 3
+	// unhealthyDuration is for how long after the latest failure an endpoint counts as unhealthy. The balancer sends it
+	// hardly anything meanwhile, so that there is no newer evidence.
+	unhealthyDuration = 30 * monotime.Second
 
-// narrowed is a pool whose instance deals with a part of the list only (package subset): the whole list, and what is told
-// of it to the balancer.
-type subsetState struct {
-	set                 *subset.Set
-	endpoints           map[string]EndpointInfo    // by name
-	pollsDiscovery      bool                       // discovery answers only when asked: a list that was known may be old
-	hasCurrentList      bool                       // there is a list that is not
-	consecutiveFailures map[string]int             // of members, failures in a row
-	unhealthyUntil      map[string]monotime.Micros // those that are unwell by them, and until when that is believed
-	timer               *timer                     // for the set's next step
-	probeBudget         subset.TokenBucket
-	onIdleConnections   func(n float64)
-	initialProbeTokens  float64 // part of a probe that the bucket begins with
+	// loadSpan is the time over which the instance's own load is averaged: about as long as Finagle's aperture smooths
+	// it (5 s), but shorter, since an instance may turn busy within a second.
+	loadSpan = 2 * monotime.Second
+	// loadReportInterval is how far apart two updates of the subset's load are at least.
+	loadReportInterval = monotime.Second / 10
 
-	openAttempts   int             // attempts without outcome
-	meanInFlight   float64         // on the mean of loadSpan, with what was refused for want of room as if it had been sent (Little's law)
-	meanLatency    float64         // how long an attempt that is served takes, on the mean
-	loadMeasuredAt monotime.Micros // when that was counted
-	loadReportedAt monotime.Micros // and told to the set
-}
+	// latencyWeight is the weight of one attempt in the moving average of latency.
+	latencyWeight = 0.05
 
-const (
-	unhealthyAfterFailures = 3           // failures in a row make an endpoint unwell for the set: as many as the balancer ejects it for.
-	unhealthyDuration      = 30 * second // It is believed for so long after the last: the balancer hardly ever asks there meanwhile
-	second                 = 1_000_000
+	// longAgo is the start time of an endpoint that was listed before any start could be seen.
+	longAgo monotime.Micros = 1
+)
 
-	// Own load is a mean over about as long as Finagle's aperture smooths it (5 s), shorter, since an instance may turn
-	// busy within a second; and the set is told of it so often at most.
-	loadSpan           = 2 * second
-	loadReportInterval = second / 10
+// subsetState is the subset of a pool whose instance uses a part of its endpoint list only (package subset).
+type subsetState struct {
+	set            *subset.Set
+	endpoints      map[string]EndpointInfo // the full list, by name
+	pollsDiscovery bool                    // there is no watch: a list that was known may be old
+	hasCurrentList bool                    // there is a list that is not
 
-	latencyWeight = 0.05 // of one attempt in the mean of how long they take
-)
+	consecutiveFailures map[string]int             // by name
+	unhealthyUntil      map[string]monotime.Micros // by name, for those that count as unhealthy by their failures
+	timer               *timer                     // for the set's next step
+
+	probeBudget        subset.TokenBucket
+	initialProbeTokens float64         // part of a probe that the budget starts with
+	onIdleConnections  func(n float64) // may be nil
+
+	openAttempts   int     // attempts without an outcome
+	meanInFlight   float64 // average over loadSpan; a rejected request counts as if it had been sent (Little's law)
+	loadMeasuredAt monotime.Micros
+	loadReportedAt monotime.Micros // to the set
+	meanLatency    float64         // of attempts that succeed, moving average; 0 is not known
+}
 
+// initSubset makes the pool's subset.
 func (p *Pool) initSubset(s subset.Settings, seed uint64) error {
 	s.Seed = seed
 	set, err := subset.New(s)
 	if err != nil {
 		return err
 	}
-	p.subset = &subsetState{set: set, endpoints: map[string]EndpointInfo{}, pollsDiscovery: p.engine.config.Site.Settings.Subscribe, consecutiveFailures: map[string]int{}, unhealthyUntil: map[string]monotime.Micros{},
-		onIdleConnections: p.config.OnIdleConnections, initialProbeTokens: p.engine.rng.Float64()}
+	p.subset = &subsetState{
+		set:                 set,
+		endpoints:           map[string]EndpointInfo{},
+		pollsDiscovery:      p.engine.config.Site.Settings.Subscribe,
+		consecutiveFailures: map[string]int{},
+		unhealthyUntil:      map[string]monotime.Micros{},
+		onIdleConnections:   p.config.OnIdleConnections,
+		initialProbeTokens:  p.engine.rng.Float64(),
+	}
 	return nil
 }
 
-// take takes news of the whole list and returns what the balancer is told in its place.
-func (n *subsetState) applyUpdate(now monotime.Micros, told EndpointUpdate) EndpointUpdate {
-	before := n.endpoints
-	if told.Kind == balancer.ListDelta {
-		before = maps.Clone(n.endpoints)
+// applyUpdate applies an update of the full list and returns the update of the subset that the balancer gets.
+func (s *subsetState) applyUpdate(now monotime.Micros, update EndpointUpdate) EndpointUpdate {
+	s.updateFullList(now, update)
+	s.forgetUnlisted()
+	list := make([]subset.Endpoint, 0, len(s.endpoints))
+	for _, info := range s.endpoints {
+		// Weights may follow load, and subsets would move with them: all endpoints have the same one here.
+		list = append(list, subset.Endpoint{ID: info.Name, Zone: int(hashString(info.Zone)), Weight: 1})
+	}
+	slices.SortFunc(list, func(a, b subset.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	s.set.SetEndpoints(now, list)
+	for _, e := range list { // sorted: random draws must not depend on map order
+		s.updateHealth(now, e.ID)
+	}
+	s.applyBudgets()
+	result := update
+	result.Endpoints = s.members()
+	if result.Kind == balancer.ListDelta {
+		result.Kind = balancer.ListFull
+	}
+	return result
+}
+
+// updateFullList applies an update to the full list.
+func (s *subsetState) updateFullList(now monotime.Micros, update EndpointUpdate) {
+	before := s.endpoints
+	if update.Kind == balancer.ListDelta {
+		before = maps.Clone(s.endpoints)
 	} else {
-		n.endpoints = map[string]EndpointInfo{}
+		s.endpoints = map[string]EndpointInfo{}
 	}
-	for _, m := range told.Endpoints {
-		if m.Name == "" || m.State == balancer.Gone {
-			delete(n.endpoints, m.Name)
+	for _, info := range update.Endpoints {
+		if info.Name == "" || info.State == balancer.Gone {
+			delete(s.endpoints, info.Name)
 			continue
 		}
-		if m.StartedAt == 0 {
-			// The balancer takes what is new to it for just started, once it has a list. Of what leaves the subset and comes
-			// back that is not so: it started when it was first told.
-			if old, ok := before[m.Name]; ok {
-				m.StartedAt = old.StartedAt
-			} else if m.StartedAt = 1; n.hasCurrentList && told.Kind != balancer.ListCached {
-				m.StartedAt = now
+		if info.StartedAt == 0 {
+			// Once it has a list, the balancer takes an endpoint that is new to it for one that has just started. One
+			// that leaves the subset and comes back started when it was first listed.
+			old, known := before[info.Name]
+			switch {
+			case known:
+				info.StartedAt = old.StartedAt
+			case s.hasCurrentList && update.Kind != balancer.ListCached:
+				info.StartedAt = now
+			default:
+				info.StartedAt = longAgo
 			}
 		}
-		n.endpoints[m.Name] = m
-	}
-	n.hasCurrentList = n.hasCurrentList || told.Kind != balancer.ListCached || !n.pollsDiscovery
-	maps.DeleteFunc(n.consecutiveFailures, func(name string, _ int) bool { return n.endpoints[name].Name == "" })
-	maps.DeleteFunc(n.unhealthyUntil, func(name string, _ monotime.Micros) bool { return n.endpoints[name].Name == "" })
-	list := make([]subset.Endpoint, 0, len(n.endpoints))
-	for _, m := range n.endpoints {
-		// Weights that tell of load would move the subsets with it: what is registered is not told apart from that.
-		list = append(list, subset.Endpoint{ID: m.Name, Zone: int(hashString(m.Zone)), Weight: 1})
+		s.endpoints[info.Name] = info
 	}
-	slices.SortFunc(list, func(a, b subset.Endpoint) int { return strings.Compare(a.ID, b.ID) })
-	n.set.SetEndpoints(now, list)
-	for _, e := range list { // in their order: what is left to chance must not depend on a map's
-		n.set.SetUnhealthy(now, e.ID, n.endpoints[e.ID].State != balancer.Ready || n.unhealthyUntil[e.ID] > now)
-	}
-	budgets := n.set.Budgets()
-	n.probeBudget.Rate, n.probeBudget.Burst = budgets.Probes, budgets.Probes
-	if n.onIdleConnections != nil && budgets.IdleConnections > 0 {
-		n.onIdleConnections(budgets.IdleConnections)
-	}
-	out := told
-	out.Endpoints = n.members()
-	if out.Kind == balancer.ListDelta {
-		out.Kind = balancer.ListFull
+	s.hasCurrentList = s.hasCurrentList || update.Kind != balancer.ListCached || !s.pollsDiscovery
+}
+
+// forgetUnlisted forgets the failures of endpoints that are not listed any more.
+func (s *subsetState) forgetUnlisted() {
+	maps.DeleteFunc(s.consecutiveFailures, func(name string, _ int) bool { return !s.lists(name) })
+	maps.DeleteFunc(s.unhealthyUntil, func(name string, _ monotime.Micros) bool { return !s.lists(name) })
+}
+
+// lists reports whether the full list has an endpoint.
+func (s *subsetState) lists(name string) bool { return s.endpoints[name].Name != "" }
+
+// updateHealth tells the set whether an endpoint is unhealthy: not ready, or by its failures.
+func (s *subsetState) updateHealth(now monotime.Micros, name string) {
+	s.set.SetUnhealthy(now, name, s.endpoints[name].State != balancer.Ready || s.unhealthyUntil[name] > now)
+}
+
+// applyBudgets applies what the set grants the instance at its endpoints.
+func (s *subsetState) applyBudgets() {
+	budgets := s.set.Budgets()
+	s.probeBudget.Rate = budgets.Probes
+	s.probeBudget.Burst = budgets.Probes
+	if s.onIdleConnections != nil && budgets.IdleConnections > 0 {
+		s.onIdleConnections(budgets.IdleConnections)
 	}
-	return out
 }
 
-func (n *subsetState) members() []EndpointInfo {
+// members returns the entries of the endpoints in the subset.
+func (s *subsetState) members() []EndpointInfo {
 	var list []EndpointInfo
-	for _, m := range n.set.Members() {
-		list = append(list, n.endpoints[m.ID])
+	for _, m := range s.set.Members() {
+		list = append(list, s.endpoints[m.ID])
 	}
 	return list
 }
 
-// heard tells the set how an attempt at an endpoint ended.
-func (p *Pool) observeEndpointHealth(now monotime.Micros, e *Endpoint, status balancer.Status, took monotime.Micros) {
-	n := p.subset
-	if n == nil || n.endpoints[e.Name].Name == "" {
+// observeEndpointHealth learns from the outcome of an attempt whether its endpoint is healthy.
+func (p *Pool) observeEndpointHealth(now monotime.Micros, e *Endpoint, status balancer.Status, latency monotime.Micros) {
+	s := p.subset
+	if s == nil || !s.lists(e.Name) {
 		return
 	}
 	switch status {
 	case balancer.OK:
-		if n.meanLatency == 0 {
-			n.meanLatency = float64(took)
+		if s.meanLatency == 0 {
+			s.meanLatency = float64(latency)
 		}
-		n.meanLatency += (float64(took) - n.meanLatency) * latencyWeight
-		if n.consecutiveFailures[e.Name] == 0 {
+		s.meanLatency += (float64(latency) - s.meanLatency) * latencyWeight
+		if s.consecutiveFailures[e.Name] == 0 {
 			return
 		}
-		delete(n.consecutiveFailures, e.Name)
-		delete(n.unhealthyUntil, e.Name)
+		delete(s.consecutiveFailures, e.Name)
+		delete(s.unhealthyUntil, e.Name)
 	case balancer.Cancelled, balancer.Moot:
 		return
 	default:
-		if n.consecutiveFailures[e.Name]++; n.consecutiveFailures[e.Name] >= unhealthyAfterFailures {
-			n.unhealthyUntil[e.Name] = now + unhealthyDuration
+		s.consecutiveFailures[e.Name]++
+		if s.consecutiveFailures[e.Name] >= unhealthyAfterFailures {
+			s.unhealthyUntil[e.Name] = now + unhealthyDuration
 		}
 	}
-	n.set.SetUnhealthy(now, e.Name, n.endpoints[e.Name].State != balancer.Ready || n.unhealthyUntil[e.Name] > now)
+	s.updateHealth(now, e.Name)
 	p.scheduleSubsetStep()
 }
 
-// opened notes attempts that were started, or that ended for a negative number.
-func (n *subsetState) observeOpenAttempts(now monotime.Micros, attempts int) {
-	n.meanInFlight += (float64(n.openAttempts) - n.meanInFlight) * -math.Expm1(-float64(now-n.loadMeasuredAt)/float64(loadSpan))
-	n.openAttempts, n.loadMeasuredAt = n.openAttempts+attempts, now
+// expireUnhealthy lets endpoints count as healthy whose time as unhealthy is over. One more failure makes such an
+// endpoint unhealthy again.
+func (s *subsetState) expireUnhealthy(now monotime.Micros) {
+	for _, name := range slices.Sorted(maps.Keys(s.unhealthyUntil)) {
+		if now >= s.unhealthyUntil[name] {
+			delete(s.unhealthyUntil, name)
+			s.consecutiveFailures[name] = unhealthyAfterFailures - 1
+			s.updateHealth(now, name)
+		}
+	}
+}
+
+// observeOpenAttempts notes that attempts have started, or ended if the number is negative.
+func (s *subsetState) observeOpenAttempts(now monotime.Micros, attempts int) {
+	s.meanInFlight += (float64(s.openAttempts) - s.meanInFlight) *
+		-math.Expm1(-float64(now-s.loadMeasuredAt)/float64(loadSpan))
+	s.openAttempts += attempts
+	s.loadMeasuredAt = now
 }
 
-// turnedAway notes a request that was turned away unsent: endpoints that have no room for it hold no more than they can, and
-// what they hold would never say that the instance needs others.
+// observeRejection notes a request that was rejected before any attempt. Endpoints without free capacity hold no more
+// than they can: what is in flight would never show that the instance needs more of them.
 func (p *Pool) observeRejection(now monotime.Micros) {
-	if n := p.subset; n != nil {
-		n.meanInFlight += n.meanLatency / float64(loadSpan)
+	if s := p.subset; s != nil {
+		s.meanInFlight += s.meanLatency / float64(loadSpan)
 		p.observeLoad(now, 0)
 	}
 }
 
-// weigh tells the set of the own load.
+// observeLoad notes that attempts have started, or ended if the number is negative, and now and then reports the
+// instance's load to the set.
 func (p *Pool) observeLoad(now monotime.Micros, attempts int) {
-	n := p.subset
-	if n == nil {
+	s := p.subset
+	if s == nil {
 		return
 	}
-	if n.observeOpenAttempts(now, attempts); now-n.loadReportedAt >= loadReportInterval {
-		n.loadReportedAt = now
-		n.set.SetLoad(now, n.meanInFlight)
-		p.scheduleSubsetStep()
+	s.observeOpenAttempts(now, attempts)
+	if now-s.loadReportedAt < loadReportInterval {
+		return
 	}
+	s.loadReportedAt = now
+	s.set.SetLoad(now, s.meanInFlight)
+	p.scheduleSubsetStep()
 }
 
-// setAlarm has the set's next step made when it is due.
+// scheduleSubsetStep sets the timer for the next step of the subset: of the set itself, or the end of an endpoint's
+// time as unhealthy.
 func (p *Pool) scheduleSubsetStep() {
-	n := p.subset
-	p.engine.cancelTimer(n.timer)
-	n.timer = nil
-	at, ok := n.set.NextStep()
-	for _, until := range n.unhealthyUntil {
-		if !ok || until < at {
-			at, ok = until, true
+	s := p.subset
+	p.engine.cancelTimer(s.timer)
+	s.timer = nil
+	due, ok := s.set.NextStep()
+	for _, until := range s.unhealthyUntil {
+		if !ok || until < due {
+			due = until
+			ok = true
 		}
 	}
 	if ok && !p.dissolved {
-		n.timer = p.engine.schedule(at, func(now monotime.Micros) {
-			n.timer = nil
-			n.expireUnhealthy(now)
-			n.observeOpenAttempts(now, 0)
-			n.set.SetLoad(now, n.meanInFlight)
-			if n.set.Advance(now) && !p.dissolved {
-				p.engine.config.Host.Log("subset changed", "pool", p.name, "members", len(n.set.Members()), "of", len(n.endpoints),
-					"widened", n.set.Doublings())
-				p.updateBalancer(now, EndpointUpdate{Kind: balancer.ListFull, Endpoints: n.members()})
-			}
-			p.scheduleSubsetStep()
-		})
+		s.timer = p.engine.schedule(due, p.advanceSubset)
 	}
 }
 
-// age believes no longer what is old: one more failure makes such an endpoint unwell again.
-func (n *subsetState) expireUnhealthy(now monotime.Micros) {
-	for _, name := range slices.Sorted(maps.Keys(n.unhealthyUntil)) {
-		if now >= n.unhealthyUntil[name] {
-			delete(n.unhealthyUntil, name)
-			n.consecutiveFailures[name] = unhealthyAfterFailures - 1
-			n.set.SetUnhealthy(now, name, n.endpoints[name].State != balancer.Ready)
-		}
+// advanceSubset does what is due of the subset, and passes a change of its members to the balancer.
+func (p *Pool) advanceSubset(now monotime.Micros) {
+	s := p.subset
+	s.timer = nil
+	s.expireUnhealthy(now)
+	s.observeOpenAttempts(now, 0)
+	s.set.SetLoad(now, s.meanInFlight)
+	if s.set.Advance(now) && !p.dissolved {
+		p.engine.config.Host.Log("subset changed", "pool", p.name,
+			"members", len(s.set.Members()), "of", len(s.endpoints), "widened", s.set.Doublings())
+		p.updateBalancer(now, EndpointUpdate{Kind: balancer.ListFull, Endpoints: s.members()})
 	}
+	p.scheduleSubsetStep()
 }
 
-// mayProbe says whether a probe is within what nodes have for this instance. A balancer whose probe is not sent is told
-// so at once: a request may wait for its answer.
+// allowProbe reports whether the budgets allow a probe. The balancer is notified of one that is not sent as the next
+// event: a request may wait for its answer.
 func (p *Pool) allowProbe(now monotime.Micros, number uint32) bool {
-	ok := true
-	if l := p.overload; l != nil && !l.control.TakeProbe(now, p.probeQuota(now)) {
-		ok = false
-		l.suppressedProbes++
+	allowed := true
+	if o := p.overload; o != nil && !o.control.TakeProbe(now, p.probeQuota(now)) {
+		allowed = false
+		o.suppressedProbes++
 	}
-	if n := p.subset; ok && n != nil {
-		ok, _ = n.probeBudget.Take(now, n.initialProbeTokens)
+	if s := p.subset; allowed && s != nil {
+		allowed, _ = s.probeBudget.Take(now, s.initialProbeTokens)
 	}
-	if !ok {
+	if !allowed {
 		p.engine.schedule(now, func(now monotime.Micros) {
 			if !p.dissolved {
 				p.balancer.Probed(now, number, balancer.Moot, 0, nil)
 			}
 		})
 	}
-	return ok
+	return allowed
 }
 
-// Subset returns how many endpoints the instance deals with, of how many, and how often it has widened; of a pool that deals
-// with all, all three say so.
-func (p *Pool) Subset() (members, of, widened int) {
+// Subset returns how many endpoints the instance uses, of how many that are listed, and how often the subset has been
+// widened. A pool that uses all of its list returns its length twice, and 0.
+func (p *Pool) Subset() (members, listed, widened int) {
 	if p.subset == nil {
 		return len(p.byName), len(p.byName), 0
 	}
 	return len(p.subset.set.Members()), len(p.subset.endpoints), p.subset.set.Doublings()
 }
+
+// hashString is the 32-bit FNV-1a hash of a string.
+func hashString(s string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return h.Sum32()
+}
--- a/internal/engine/timers.go
+++ b/internal/engine/timers.go
@@ -6,64 +6,77 @@
 	"dunlinsail/internal/monotime"
 )
 
-// alarm is something to do at an instant; those of the same instant go in the order they were set.
+// timer is an action that is due at an instant. Timers of the same instant fire in the order in which they were set.
 type timer struct {
 	due      monotime.Micros
 	sequence uint64
 	fire     func(now monotime.Micros)
-	index    int // in the heap; -1 once out of it
+	index    int // in the heap; -1 once it has left it
 }
 
-// alarms is a heap by instant (container/heap).
+// pending reports whether the timer has yet to fire.
+func (t *timer) pending() bool { return t != nil && t.index >= 0 }
+
+// timerHeap orders timers by the instant at which they are due (container/heap).
 type timerHeap []*timer
 
-func (a timerHeap) Len() int { return len(a) }
+// Len implements heap.Interface.
+func (h timerHeap) Len() int { return len(h) }
 
-func (a timerHeap) Less(i, j int) bool {
-	return a[i].due < a[j].due || a[i].due == a[j].due && a[i].sequence < a[j].sequence
+// Less implements heap.Interface.
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].due < h[j].due || h[i].due == h[j].due && h[i].sequence < h[j].sequence
 }
 
-func (a timerHeap) Swap(i, j int) {
-	a[i], a[j] = a[j], a[i]
-	a[i].index, a[j].index = i, j
+// Swap implements heap.Interface.
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
 }
 
-func (a *timerHeap) Push(x any) {
-	x.(*timer).index = len(*a)
-	*a = append(*a, x.(*timer))
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.index = len(*h)
+	*h = append(*h, t)
 }
 
-func (a *timerHeap) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	(*a)[last], x.index = nil, -1
-	*a = (*a)[:last]
-	return x
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	t.index = -1
+	*h = (*h)[:last]
+	return t
 }
 
-func (x *Engine) schedule(at monotime.Micros, ring func(now monotime.Micros)) *timer {
+// schedule has fire called once an instant has come.
+func (x *Engine) schedule(due monotime.Micros, fire func(now monotime.Micros)) *timer {
 	x.timerSequence++
-	a := &timer{due: at, sequence: x.timerSequence, fire: ring}
-	heap.Push(&x.timers, a)
-	return a
+	t := &timer{due: due, sequence: x.timerSequence, fire: fire}
+	heap.Push(&x.timers, t)
+	return t
 }
 
-// callOff takes an alarm out, if it is still to ring: what it would look at need not be kept for it.
-func (x *Engine) cancelTimer(a *timer) {
-	if a != nil && a.index >= 0 {
-		heap.Remove(&x.timers, a.index)
+// cancelTimer removes a timer that is still pending, so that what it refers to can be freed. nil is no timer.
+func (x *Engine) cancelTimer(t *timer) {
+	if t.pending() {
+		heap.Remove(&x.timers, t.index)
 	}
 }
 
-// Next returns the instant at which something is due; ok says whether anything is.
-func (x *Engine) Next() (at monotime.Micros, ok bool) {
+// Next returns the instant at which the next timer is due; ok is false if there is none.
+func (x *Engine) Next() (due monotime.Micros, ok bool) {
 	if len(x.timers) == 0 {
 		return 0, false
 	}
 	return x.timers[0].due, true
 }
 
-// Advance does what is due by an instant. The host calls it when that of Next has come, and after each event.
+// Advance fires all timers that are due by an instant. The host calls it when the instant that Next returned has come,
+// and after each event.
 func (x *Engine) Advance(now monotime.Micros) {
 	x.now = now
 	for len(x.timers) > 0 && x.timers[0].due <= now {
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -84,8 +84,8 @@
 func (s *running) forgets(t *testing.T, left time.Time) {
 	t.Helper()
 	scriptedpeer.Eventually(t, "its place is free", func() bool {
-		_, inFlight, _, calls := s.parts.endpoints.Counts()
-		return inFlight == 0 && calls == 0
+		counts := s.parts.endpoints.Counts()
+		return counts.InFlight == 0 && counts.OpenCalls == 0
 	})
 	if took := time.Since(left); took > noticedWithin {
 		t.Errorf("noticed after %v", took)
@@ -209,10 +209,10 @@
 		mu.Unlock()
 		io.WriteString(c, sent(t, look(9000)))
 		scriptedpeer.Eventually(t, "it is taken", func() bool {
-			_, _, _, calls := s.parts.endpoints.Counts()
+			counts := s.parts.endpoints.Counts()
 			mu.Lock()
 			defer mu.Unlock()
-			return calls == 1 || len(taken) > before
+			return counts.OpenCalls == 1 || len(taken) > before
 		})
 		c.Close()
 		left := time.Now()
@@ -281,9 +281,9 @@
 		c.Close()
 	}
 	scriptedpeer.Eventually(t, "all places are free", func() bool {
-		_, inFlight, _, calls := s.parts.endpoints.Counts()
+		counts := s.parts.endpoints.Counts()
 		all, _ := s.parts.front.Conns()
-		return inFlight == 0 && calls == 0 && all == 0
+		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
 	close(h.release)
 	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -121,9 +121,9 @@
 	}
 	clients.Wait()
 	scriptedpeer.Eventually(t, "nothing is left", func() bool {
-		_, inFlight, _, calls := s.parts.endpoints.Counts()
+		counts := s.parts.endpoints.Counts()
 		all, _ := s.parts.front.Conns()
-		return inFlight == 0 && calls == 0 && all == 0
+		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
 	var last sync.WaitGroup
 	for i := range 4 { // these have sent all that they send before the order to stop
