--- a/internal/decide/concurrency/limiter_test.go
+++ b/internal/decide/concurrency/limiter_test.go
@@ -10,7 +10,7 @@
 
 const ms monotime.Micros = 1000
 
-// fleet is a number of servers with one queue, in simulated time, asked as fast as the limit lets.
+// serverPool is a number of servers with one queue, in simulated time, which get requests as fast as the limit allows.
 type serverPool struct {
 	limiter  *Limiter
 	rng      *rand.Rand
@@ -18,22 +18,26 @@
 	meanTime monotime.Micros
 	spread   float64
 	now      monotime.Micros
-	running  endHeap // those being worked at, by when they end
+	running  endHeap // by when they end
 	queue    []job
-	inFlight int // in flight
-	demand   int // the most that clients would have in flight
+	inFlight int
+	demand   int // requests that clients would have in flight without a limit
 
 	served    int
 	totalTime monotime.Micros
 	lost      int
 }
 
+// job is a request in flight.
 type job struct {
-	class, inFlight int
-	sentAt, endsAt  monotime.Micros
-	waited          bool
+	class    int
+	inFlight int // when it was sent, itself included
+	sentAt   monotime.Micros
+	endsAt   monotime.Micros
+	waited   bool
 }
 
+// endHeap is a heap (container/heap) of jobs by their end.
 type endHeap []job
 
 func (e endHeap) Len() int           { return len(e) }
@@ -74,14 +78,22 @@
 }
 
 func newServers(t *testing.T, servers, demand int) *serverPool {
+	t.Helper()
 	l, err := New(Settings{Classes: 2, Min: 2, Max: 1000, Initial: 16, Seed: 9})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &serverPool{limiter: l, rng: rand.New(rand.NewPCG(1, 2)), count: servers, meanTime: 10 * ms, spread: 0.3, demand: demand}
+	return &serverPool{
+		limiter:  l,
+		rng:      rand.New(rand.NewPCG(1, 2)),
+		count:    servers,
+		meanTime: 10 * ms,
+		spread:   0.3,
+		demand:   demand,
+	}
 }
 
-// check plays on and says whether nearly all that the servers can do was done, and not much waited there.
+// check runs on, and checks that the servers' capacity is nearly used, and that requests hardly wait there.
 func (f *serverPool) check(t *testing.T, name string, warm, length monotime.Micros) {
 	t.Helper()
 	f.runUntil(f.now + warm)
@@ -93,7 +105,8 @@
 		t.Errorf("%s: %.2f of what %d servers can do was done, limit %d", name, got, f.count, f.limiter.Limit())
 	}
 	if got := float64(f.totalTime) / float64(f.served) / mean; got > 1.9 {
-		t.Errorf("%s: requests took %.2f times what they take alone, limit %d of %d servers", name, got, f.limiter.Limit(), f.count)
+		t.Errorf("%s: requests took %.2f times what they take alone, limit %d of %d servers",
+			name, got, f.limiter.Limit(), f.count)
 	}
 }
 
@@ -109,7 +122,7 @@
 	}
 }
 
-// When requests turn slower for another reason, that is soon what they take alone.
+// When requests become slower for another reason than load, the baseline follows soon.
 func TestBaselineFollowsSlowerRequests(t *testing.T) {
 	f := newServers(t, 20, 1000)
 	f.check(t, "at first", 10*second, 20*second)
@@ -119,7 +132,7 @@
 	f.check(t, "as fast as before", 20*second, 40*second)
 }
 
-// Without demand the limit stays as it is: nothing tells that more could be done.
+// Without demand the limit stays as it is: nothing shows that there is more capacity.
 func TestLimitDoesNotGrowWithoutDemand(t *testing.T) {
 	f := newServers(t, 100, 3)
 	f.runUntil(60 * second)
@@ -128,7 +141,7 @@
 	}
 }
 
-// The bounds hold, also where requests take no time at all or for ever.
+// The limit stays within Min and Max, also where requests take no time at all, or very long.
 func TestLimitStaysWithinMinAndMax(t *testing.T) {
 	for _, took := range []monotime.Micros{0, 1, 3600 * second} {
 		l, err := New(Settings{Classes: 1, Min: 3, Max: 40, Initial: 5})
@@ -145,11 +158,18 @@
 }
 
 func TestInvalidSettings(t *testing.T) {
-	for _, s := range []Settings{{}, {Classes: 1}, {Classes: 1, Min: 2, Max: 1}, {Classes: 1, Min: 1, Max: 9, Initial: 10},
-		{Classes: 1, Min: 2, Max: 9, Initial: 1}, {Min: 1, Max: 1, Initial: 1}, {Classes: 1, Min: 1, Max: 9, Initial: 1, GrowThreshold: 0.5},
-		{Classes: 1, Min: 1, Max: 9, Initial: 1, GrowThreshold: 0.5, ShrinkThreshold: 0.4}} {
+	for _, s := range []Settings{
+		{},
+		{Classes: 1},
+		{Classes: 1, Min: 2, Max: 1},
+		{Classes: 1, Min: 1, Max: 9, Initial: 10},
+		{Classes: 1, Min: 2, Max: 9, Initial: 1},
+		{Min: 1, Max: 1, Initial: 1},
+		{Classes: 1, Min: 1, Max: 9, Initial: 1, GrowThreshold: 0.5},
+		{Classes: 1, Min: 1, Max: 9, Initial: 1, GrowThreshold: 0.5, ShrinkThreshold: 0.4},
+	} {
 		if _, err := New(s); err == nil {
-			t.Errorf("%+v was taken", s)
+			t.Errorf("%+v was accepted", s)
 		}
 	}
 }
--- a/internal/decide/fairqueue/fairqueue_test.go
+++ b/internal/decide/fairqueue/fairqueue_test.go
@@ -15,7 +15,7 @@
 
 const ms monotime.Micros = 1000
 
-// world plays requests in simulated time: what is admitted holds a slot for its time and is then done.
+// simulation runs requests in simulated time: an admitted request is in flight for its service time and then done.
 type simulation struct {
 	t           rapid.TB
 	scheduler   *Scheduler
@@ -55,18 +55,34 @@
 func (e *completionHeap) Pop() any     { l := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return l }
 
 func newSimulation(t rapid.TB, s Settings, took func(uint64) monotime.Micros) *simulation {
-	return &simulation{t: t, scheduler: New(s), serviceTime: took, open: map[uint64]*simRequest{}, rejections: map[Reason]int{}, maxInFlight: s.MaxInFlight}
+	return &simulation{
+		t:           t,
+		scheduler:   New(s),
+		serviceTime: took,
+		open:        map[uint64]*simRequest{},
+		rejections:  map[Reason]int{},
+		maxInFlight: s.MaxInFlight,
+	}
 }
 
-// ask offers a request; ended is called when it is over, refuse when it is turned away.
-func (w *simulation) enqueue(c *Client, class int, deadline monotime.Micros, onEnd func(*simRequest, monotime.Micros), onReject func(Reason)) {
+// enqueue enqueues a request; onEnd is called when it has ended, onReject when it is rejected.
+func (w *simulation) enqueue(
+	c *Client, class int, deadline monotime.Micros, onEnd func(*simRequest, monotime.Micros), onReject func(Reason),
+) {
 	w.lastID++
-	w.open[w.lastID] = &simRequest{client: c, enqueuedAt: w.now, deadline: deadline, class: class, onEnd: onEnd, onReject: onReject}
+	w.open[w.lastID] = &simRequest{
+		client:     c,
+		enqueuedAt: w.now,
+		deadline:   deadline,
+		class:      class,
+		onEnd:      onEnd,
+		onReject:   onReject,
+	}
 	w.scheduler.Enqueue(w.now, c, Request{ID: w.lastID, Class: class, Deadline: deadline})
 	w.applyDecisions()
 }
 
-// settle takes the decisions that are due, and checks what must hold after them.
+// applyDecisions takes the decisions that are due, and checks what must hold after them.
 func (w *simulation) applyDecisions() {
 	for {
 		d, ok := w.scheduler.Next(w.now)
@@ -79,7 +95,7 @@
 		}
 		if d.Action == Reject {
 			if p.inFlight {
-				w.t.Fatalf("request %d was turned away in flight", d.ID)
+				w.t.Fatalf("request %d was rejected in flight", d.ID)
 			}
 			if d.RetryAfter < 0 {
 				w.t.Fatalf("retry after %d", d.RetryAfter)
@@ -109,7 +125,29 @@
 	}
 }
 
-// until plays on to an instant.
+// cancelAny takes any open request, cancels it if it waits, and reports whether it did.
+func (w *simulation) cancelAny() bool {
+	for id, p := range w.open {
+		if p.inFlight {
+			return false
+		}
+		delete(w.open, id)
+		w.scheduler.Done(w.now, id)
+		w.applyDecisions()
+		return true
+	}
+	return false
+}
+
+// checkEmpty checks that the scheduler has nothing left of any request.
+func (w *simulation) checkEmpty() {
+	x := w.scheduler
+	if len(x.requests) != 0 || len(x.backlog) != 0 || len(x.expiry) != 0 || x.inFlight != 0 || x.backlogWeight != 0 {
+		w.t.Fatalf("left behind: %+v", x)
+	}
+}
+
+// runUntil runs to an instant.
 func (w *simulation) runUntil(at monotime.Micros) {
 	for {
 		next := at
@@ -147,8 +185,8 @@
 	return c
 }
 
-// Under saturation each client's time in flight is within 5% of its weight's part in any second, none starves,
-// and no slot is idle while someone waits (settle checks that).
+// Under saturation each client's time in flight is within 5% of its weight's part in any second, none starves, and
+// no capacity is unused while a request waits (applyDecisions checks that).
 func TestTimeInFlightFollowsWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 24).Draw(t, "slots")
@@ -156,7 +194,8 @@
 		means := rapid.SliceOfN(rapid.Int64Range(1000, 4000), len(weights), len(weights)).Draw(t, "means")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var w *simulation
-		w = newSimulation(t, Settings{InitialTimes: make([]monotime.Micros, len(weights)), MaxInFlight: slots}, func(id uint64) monotime.Micros {
+		settings := Settings{InitialTimes: make([]monotime.Micros, len(weights)), MaxInFlight: slots}
+		w = newSimulation(t, settings, func(id uint64) monotime.Micros {
 			// Each client has a class of its own: some clients' requests take longer than others'.
 			return monotime.Micros(float64(means[w.open[id].class]) * (0.5 + rng.Float64()))
 		})
@@ -207,8 +246,8 @@
 	})
 }
 
-// Whatever clients ask, each request has one decision to go on or be turned away, none waits past the instant at
-// which its answer could still be in time, and at the end all counts are back where they began.
+// Whatever clients send, each request is admitted or rejected once, none waits past the instant at which its answer
+// could still be in time, and at the end all counts are back where they started.
 func TestEveryRequestIsAdmittedOrRejectedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
@@ -225,15 +264,9 @@
 			switch rng.IntN(8) {
 			case 0:
 				w.runUntil(w.now + rng.Int64N(30*ms))
-			case 1: // a client goes, while it waits or in flight
-				for id, p := range w.open {
-					if !p.inFlight {
-						delete(w.open, id)
-						w.scheduler.Done(w.now, id)
-						w.applyDecisions()
-						finished++
-					}
-					break
+			case 1:
+				if w.cancelAny() {
+					finished++
 				}
 			case 2:
 				if s.MaxInFlight > 0 {
@@ -251,7 +284,7 @@
 				w.enqueue(c, rng.IntN(2), w.now+rng.Int64N(200*ms), func(p *simRequest, _ monotime.Micros) {
 					finished++
 					if p.startedAt > p.deadline {
-						t.Fatalf("a request went on at %d whose answer had to be there at %d", p.startedAt, p.deadline)
+						t.Fatalf("a request was admitted at %d whose deadline was %d", p.startedAt, p.deadline)
 					}
 				}, func(Reason) { finished++ })
 			}
@@ -267,27 +300,26 @@
 		}
 		w.runUntil(w.now + 10*second)
 		if enqueued != finished {
-			t.Fatalf("%d asked, %d over", enqueued, finished)
-		}
-		if len(w.scheduler.requests) != 0 || len(w.scheduler.backlog) != 0 || len(w.scheduler.expiry) != 0 || w.scheduler.inFlight != 0 || w.scheduler.backlogWeight != 0 {
-			t.Fatalf("left behind: %+v", w.scheduler)
+			t.Fatalf("%d enqueued, %d finished", enqueued, finished)
 		}
+		w.checkEmpty()
 	})
 }
 
-// A client within its share is not hurt by one at twenty times its own: it waits for a turn, never behind the
-// other's queue, and none of its requests is turned away.
+// A client within its share is not affected by one at twenty times its own: it never waits behind the other's
+// queue, and none of its requests is rejected.
 func TestLightClientIsIsolatedFromHeavyClient(t *testing.T) {
 	run := func(heavyLoad float64) (p99 monotime.Micros, rejected int, share float64) {
 		rng := rand.New(rand.NewPCG(5, 3))
 		w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 16}, func(uint64) monotime.Micros {
 			return 8*ms + rng.Int64N(4*ms)
 		})
-		light, heavy := newTestClient(t, ClientSpec{Name: "modest", Weight: 1}), newTestClient(t, ClientSpec{Name: "greedy", Weight: 1})
+		light := newTestClient(t, ClientSpec{Name: "light", Weight: 1})
+		heavy := newTestClient(t, ClientSpec{Name: "heavy", Weight: 1})
 		var times []monotime.Micros
 		var lightTime, all monotime.Micros
 		next := [2]float64{}
-		for w.now < 20*second { // the modest asks 400 times a second, half of its share of what can be done
+		for w.now < 20*second { // the light one sends 400 a second, half of its share of the capacity
 			i := 0
 			if next[1] < next[0] && heavyLoad > 0 {
 				i = 1
@@ -310,23 +342,24 @@
 	}
 	alone, rejected, _ := run(0)
 	if rejected != 0 {
-		t.Fatalf("alone %d refused", rejected)
+		t.Fatalf("alone %d rejected", rejected)
 	}
 	beside, rejected, share := run(20)
 	if rejected != 0 {
-		t.Errorf("beside the other %d of its requests were turned away", rejected)
+		t.Errorf("beside the other %d of its requests were rejected", rejected)
 	}
 	if r := float64(beside) / float64(alone); r > 1.25 {
 		t.Errorf("p99 %d us beside the other, %d alone: %.2f times, want 1.25 at most", beside, alone, r)
 	}
 	if share < 0.7 {
-		t.Errorf("the other got %.2f of the time: what the modest one leaves is its own", share)
+		t.Errorf("the other got %.2f of the time: what the light one leaves is its own", share)
 	}
 }
 
-// What cannot be in time is turned away at once, with the time after which it may be.
+// A request that would miss its deadline is rejected at once, with the time after which it would not.
 func TestRejectsAtOnceWhatWouldMissItsDeadline(t *testing.T) {
-	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{100 * ms}, MaxInFlight: 1}, func(uint64) monotime.Micros { return 100 * ms })
+	settings := Settings{InitialTimes: []monotime.Micros{100 * ms}, MaxInFlight: 1}
+	w := newSimulation(t, settings, func(uint64) monotime.Micros { return 100 * ms })
 	c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
 	w.enqueue(c, 0, 250*ms, nil, nil) // in flight
 	w.enqueue(c, 0, 250*ms, nil, nil) // waits for the first
@@ -334,24 +367,25 @@
 	w.open[99] = &simRequest{client: c}
 	d, ok := w.scheduler.Next(0)
 	if !ok || d.Action != Reject || d.Reason != WouldMissDeadline || d.RetryAfter < 20*ms || d.RetryAfter > 200*ms {
-		t.Fatalf("the third: %+v, want it turned away as late, to come back after 50 to 200 ms", d)
+		t.Fatalf("the third: %+v, want it rejected by its deadline, to retry after 20 to 200 ms", d)
 	}
 }
 
-// Where there is room a request goes on, however slow its class has been: whether it is worth sending, the
-// balancer decides.
+// While there is capacity a request is admitted, however slow its class has been: whether it is still sent is the
+// balancer's decision.
 func TestAdmitsWhileCapacityIsFree(t *testing.T) {
 	for _, slots := range []int{0, 1} {
-		w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: slots}, func(uint64) monotime.Micros { return 300 * ms })
+		settings := Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: slots}
+		w := newSimulation(t, settings, func(uint64) monotime.Micros { return 300 * ms })
 		c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
 		for range 20 {
-			w.enqueue(c, 0, w.now+200*ms, nil, func(why Reason) { t.Fatalf("slots %d: turned away: %v", slots, why) })
+			w.enqueue(c, 0, w.now+200*ms, nil, func(why Reason) { t.Fatalf("slots %d: rejected: %v", slots, why) })
 			w.runUntil(w.now + 400*ms)
 		}
 	}
 }
 
-// A request that waits is given up at the instant from which its answer could not be in time.
+// A waiting request is rejected at the instant from which its answer could not be in time.
 func TestRejectsWaitingRequestAtItsLatestStart(t *testing.T) {
 	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1}, func(id uint64) monotime.Micros {
 		return map[bool]monotime.Micros{true: second, false: 10 * ms}[id == 1] // the first hangs
@@ -361,26 +395,28 @@
 	var at monotime.Micros
 	w.enqueue(c, 0, 50*ms, nil, func(why Reason) {
 		if at = w.now; why != WouldMissDeadline {
-			t.Errorf("turned away as: %v", why)
+			t.Errorf("rejected as: %v", why)
 		}
 	})
 	w.runUntil(200 * ms)
 	if at != 40*ms {
-		t.Errorf("given up at %d us, want 40 ms: 50 less the 10 that it takes", at)
+		t.Errorf("rejected at %d us, want 40 ms: 50 less the 10 that it takes", at)
 	}
 }
 
-// The bounds of a client hold, and tell when to come back.
+// The limits of a client hold, and a rejection has the time after which to retry.
 func TestClientLimits(t *testing.T) {
-	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1, Shared: &SharedLimit{Max: 4}}, func(uint64) monotime.Micros { return 10 * ms })
-	few, fast, any := newTestClient(t, ClientSpec{Name: "few", Weight: 1, MaxOpen: 2}),
-		newTestClient(t, ClientSpec{Name: "fast", Weight: 1, Rate: 10, Burst: 2}), newTestClient(t, ClientSpec{Name: "any", Weight: 1})
+	settings := Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1, Shared: &SharedLimit{Max: 4}}
+	w := newSimulation(t, settings, func(uint64) monotime.Micros { return 10 * ms })
+	few := newTestClient(t, ClientSpec{Name: "few", Weight: 1, MaxOpen: 2})
+	fast := newTestClient(t, ClientSpec{Name: "fast", Weight: 1, Rate: 10, Burst: 2})
+	any := newTestClient(t, ClientSpec{Name: "any", Weight: 1})
 	expect := func(c *Client, want Reason) {
 		t.Helper()
 		got := None
 		w.enqueue(c, 0, w.now+second, nil, func(why Reason) { got = why })
 		if got != want {
-			t.Errorf("turned away as %q, want %q", got, want)
+			t.Errorf("rejected as %q, want %q", got, want)
 		}
 	}
 	expect(few, None)
@@ -396,20 +432,22 @@
 	expect(fast, ClientOverRate)
 	w.scheduler.Enqueue(w.now, fast, Request{ID: 999, Deadline: w.now + second})
 	if d, _ := w.scheduler.Next(w.now); d.RetryAfter != 100*ms {
-		t.Errorf("to come back after %d us, want 100 ms: one of ten a second", d.RetryAfter)
+		t.Errorf("to retry after %d us, want 100 ms: one of ten a second", d.RetryAfter)
 	}
 	w.runUntil(2 * second)
 	expect(fast, None)
 }
 
 func TestInvalidClientSpecs(t *testing.T) {
-	for _, s := range []ClientSpec{{}, {Weight: -1}, {Weight: math.NaN()}, {Weight: math.Inf(1)}, {Weight: 1, MaxOpen: -1},
-		{Weight: 1, Rate: -1}, {Weight: 1, Rate: 5}, {Weight: 1, Rate: math.NaN()}} {
+	for _, s := range []ClientSpec{
+		{}, {Weight: -1}, {Weight: math.NaN()}, {Weight: math.Inf(1)}, {Weight: 1, MaxOpen: -1},
+		{Weight: 1, Rate: -1}, {Weight: 1, Rate: 5}, {Weight: 1, Rate: math.NaN()},
+	} {
 		if _, err := NewClient(s); err == nil {
-			t.Errorf("%+v was taken", s)
+			t.Errorf("%+v was accepted", s)
 		}
 		if err := newTestClient(t, ClientSpec{Weight: 1}).Update(s); err == nil {
-			t.Errorf("a change to %+v was taken", s)
+			t.Errorf("an update to %+v was accepted", s)
 		}
 	}
 }
@@ -444,38 +482,40 @@
 	}
 }
 
-// The bounds of a client, and the bound on all, hold over several schedulers; a place in one is none in another.
+// The limits of a client, and the shared limit, hold over several schedulers; capacity in one is none in another.
 func TestLimitsHoldOverSeveralSchedulers(t *testing.T) {
 	total := &SharedLimit{Max: 5}
 	var x [2]*Scheduler
 	for i := range x {
 		x[i] = New(Settings{InitialTimes: []monotime.Micros{ms}, MaxInFlight: 1, Shared: total})
 	}
-	a, b := newTestClient(t, ClientSpec{Name: "a", Weight: 1, MaxOpen: 3}), newTestClient(t, ClientSpec{Name: "b", Weight: 1})
+	a := newTestClient(t, ClientSpec{Name: "a", Weight: 1, MaxOpen: 3})
+	b := newTestClient(t, ClientSpec{Name: "b", Weight: 1})
 	id := uint64(0)
-	ask := func(x *Scheduler, c *Client, want Decision) {
+	enqueue := func(x *Scheduler, c *Client, want Decision) {
 		t.Helper()
 		id++
 		x.Enqueue(0, c, Request{ID: id, Deadline: second})
 		d, ok := x.Next(0)
-		if ok != (d.ID != 0) || ok && d.ID != id || d.Action != want.Action || d.Reason != want.Reason || !ok && want.ID != 0 {
+		if ok != (d.ID != 0) || ok && d.ID != id || !ok && want.ID != 0 ||
+			d.Action != want.Action || d.Reason != want.Reason {
 			t.Fatalf("request %d: %+v, %v", id, d, ok)
 		}
 	}
-	goes, waits := Decision{ID: 1}, Decision{}
-	ask(x[0], a, goes)
-	ask(x[0], a, waits)
-	ask(x[1], a, goes)
-	ask(x[1], a, Decision{ID: 1, Action: Reject, Reason: ClientAtLimit})
-	ask(x[1], b, waits)
-	ask(x[0], b, waits)
-	ask(x[0], b, Decision{ID: 1, Action: Reject, Reason: TotalAtLimit})
+	admitted, queued := Decision{ID: 1}, Decision{}
+	enqueue(x[0], a, admitted)
+	enqueue(x[0], a, queued)
+	enqueue(x[1], a, admitted)
+	enqueue(x[1], a, Decision{ID: 1, Action: Reject, Reason: ClientAtLimit})
+	enqueue(x[1], b, queued)
+	enqueue(x[0], b, queued)
+	enqueue(x[0], b, Decision{ID: 1, Action: Reject, Reason: TotalAtLimit})
 	if w, in := a.Counts(); w != 1 || in != 2 {
 		t.Errorf("a has %d waiting and %d in flight", w, in)
 	}
 	x[1].Done(0, 3)
 	if d, ok := x[1].Next(0); !ok || d.ID != 5 || d.Action != Admit {
-		t.Errorf("with a place free there: %+v, %v", d, ok)
+		t.Errorf("with capacity there: %+v, %v", d, ok)
 	}
-	ask(x[1], a, waits)
+	enqueue(x[1], a, queued)
 }
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -8,11 +8,20 @@
 	"dunlinsail/internal/monotime"
 )
 
-// site is four classes as a clinic's, with the goal's weight of the worst class.
+// testSettings has four classes as a clinic's, and the goal's weight of the worst class.
 func testSettings(worstClassWeight float64, instances int) Settings {
 	millis := func(ms int64) monotime.Micros { return ms * 1000 }
-	return Settings{Classes: []Class{{2, millis(250)}, {1, millis(200)}, {3, millis(200)}, {5, millis(300)}}, OverShareWeight: 1, Goal: Goal{0.8, worstClassWeight},
-		Instances: instances, RetryRatio: 0.2, OverloadedRetryRatio: 0.1, ProbeRatio: 2, MaxEndpointProbes: 100, MinEndpointProbes: 1}
+	return Settings{
+		Classes:              []Class{{2, millis(250)}, {1, millis(200)}, {3, millis(200)}, {5, millis(300)}},
+		OverShareWeight:      1,
+		Goal:                 Goal{0.8, worstClassWeight},
+		Instances:            instances,
+		RetryRatio:           0.2,
+		OverloadedRetryRatio: 0.1,
+		ProbeRatio:           2,
+		MaxEndpointProbes:    100,
+		MinEndpointProbes:    1,
+	}
 }
 
 func newTestController(t *testing.T, s Settings) *Controller {
@@ -25,8 +34,8 @@
 	return c
 }
 
-// Whatever is asked, refused and tried again, at no instant have more further attempts gone out within a second than the
-// share of the first ones accepted in it, and where nothing is accepted none goes out.
+// Whatever is requested, rejected and retried, at no instant have more retries been sent within a second than the
+// ratio of the first attempts accepted in it, and where none is accepted no retry is sent.
 func TestRetriesStayWithinBudgetInAnySecond(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -42,7 +51,9 @@
 			}
 			return n
 		}
-		for now := monotime.Micros(1_700_000_000_000_000); len(sent)+len(accepted) < 400 && rng.IntN(5000) > 0; now += monotime.Micros(rng.ExpFloat64() * 20_000) {
+		start := monotime.Micros(1_700_000_000_000_000)
+		pause := func() monotime.Micros { return monotime.Micros(rng.ExpFloat64() * 20_000) }
+		for now := start; len(sent)+len(accepted) < 400 && rng.IntN(5000) > 0; now += pause() {
 			c.OnRequest(now, rng.IntN(4), -1, rng.IntN(2) == 0)
 			switch rng.IntN(4) {
 			case 0:
@@ -54,8 +65,10 @@
 			if c.Bounds(now).RetryAllowed {
 				c.OnAttemptSent(now, 1, false)
 				sent = append(sent, now)
-				if n, acceptedWithin := countWithin(sent, now), countWithin(accepted, now); float64(n) > s.RetryRatio*float64(acceptedWithin)+1 {
-					t.Fatalf("seed %d: %d further attempts within a second of %d accepted", seed, n, acceptedWithin)
+				sentWithin := countWithin(sent, now)
+				acceptedWithin := countWithin(accepted, now)
+				if float64(sentWithin) > s.RetryRatio*float64(acceptedWithin)+1 {
+					t.Fatalf("seed %d: %d retries within a second of %d accepted", seed, sentWithin, acceptedWithin)
 				}
 			}
 		}
@@ -64,13 +77,13 @@
 			quiet.OnRequest(now, 0, -1, false)
 			quiet.OnAttemptEnded(now, 0, true, Overloaded, 1000)
 			if quiet.Bounds(now).RetryAllowed {
-				t.Fatal("a further attempt goes out where nothing was ever accepted")
+				t.Fatal("a retry is sent where nothing was ever accepted")
 			}
 		}
 	}
 }
 
-// Many quiet instances, each with less than one further attempt to its name, have the share of what all were served.
+// Many quiet instances, each with a budget of less than one retry, send the ratio of what all were served.
 func TestQuietInstancesShareRetryBudget(t *testing.T) {
 	const n = 400
 	sent, accepted := 0, 0
@@ -79,7 +92,8 @@
 		s.Seed = i * 77
 		c := newTestController(t, s)
 		rng := rand.New(rand.NewPCG(i, 3))
-		for now := 1000 * second; now < 1020*second; now += 1 + monotime.Micros(rng.ExpFloat64()*float64(second)) { // one a second, and as many failures
+		for now := 1000 * second; now < 1020*second; now += 1 + monotime.Micros(rng.ExpFloat64()*float64(second)) {
+			// one a second, and as many failures
 			c.OnAttemptEnded(now, 0, true, Answered, 50_000)
 			accepted++
 			for c.Bounds(now + 1).RetryAllowed {
@@ -89,12 +103,12 @@
 		}
 	}
 	if ratio := float64(sent) / float64(accepted); ratio > 0.2 || ratio < 0.04 {
-		t.Errorf("%.3f further attempts for each that was accepted, of 0.2 at most", ratio)
+		t.Errorf("%.3f retries for each accepted attempt, want 0.2 at most", ratio)
 	}
 }
 
-// What all instances probe at one endpoint is bounded within every second, whether they are 1 or 5,000, whatever is refused and
-// repeated and however much all have saved up, and never nothing.
+// The probes of all instances at one endpoint are bounded within every second, whether they are 1 or 5,000,
+// whatever is rejected and repeated and however much all have saved up, and there are always some.
 func TestFleetProbesStayWithinEndpointBound(t *testing.T) {
 	const endpoints, serves, seconds = 12, 40.0, 14
 	for _, instances := range []int{1, 8, 300, 5000} {
@@ -110,43 +124,48 @@
 				next := monotime.Micros(rng.ExpFloat64() * gap)
 				for now := monotime.Micros(0); now < seconds*second; now += second / 20 {
 					for range 5 {
-						c.OnRequest(now, 0, -1, true) // a storm of repeats
+						c.OnRequest(now, 0, -1, true) // a retry storm
 						c.OnRejected(now, 0, true)
 					}
-					if up || now%second == 0 { // what endpoints tell does not end with their service
+					if up || now%second == 0 { // load reports go on when nothing is served
 						c.OnLoadReport(now, LoadReport{InFlight: 4, ServedRate: serves})
 					}
 					for up && next <= now {
 						c.OnAttemptEnded(now, 0, true, Answered, 60_000)
 						next += 1 + monotime.Micros(rng.ExpFloat64()*gap)
 					}
-					for (now < 4*second || now >= 9*second) && c.TakeProbe(now, nil) { // for five seconds all save up
+					probing := now < 4*second || now >= 9*second // for five seconds all save up
+					for probing && c.TakeProbe(now, nil) {
 						fleetProbes[now/second]++
 					}
 				}
 			}
 			// Chance of the draws and of who is served how much, at these sizes: a quarter.
-			maxProbes, minProbes := 50*1.25+1, 0.0
+			maxProbes := 50*1.25 + 1
+			minProbes := 0.0
 			if !up {
-				maxProbes, minProbes = 2.5+float64(min(instances, 300))/300, 0.3 // the least, and what instances begin with
+				maxProbes = 2.5 + float64(min(instances, 300))/300 // the minimum, and what instances start with
+				minProbes = 0.3
 			}
 			sum := 0.0
 			for s, probes := range fleetProbes {
 				probes *= float64(instances) / float64(sampled) / endpoints // at an endpoint
 				sum += probes
 				if probes > maxProbes+float64(minProbeBucket)/endpoints {
-					t.Errorf("%d instances, served %v: %.1f probes at an endpoint in second %d, of %.1f", instances, up, probes, s, maxProbes)
+					t.Errorf("%d instances, served %v: %.1f probes at an endpoint in second %d, of %.1f",
+						instances, up, probes, s, maxProbes)
 				}
 			}
 			if sum/9 < minProbes {
-				t.Errorf("%d instances, served %v: %.2f probes a second at an endpoint, of %v at least", instances, up, sum/9, minProbes)
+				t.Errorf("%d instances, served %v: %.2f probes a second at an endpoint, of %v at least",
+					instances, up, sum/9, minProbes)
 			}
 		}
 	}
 }
 
-// The better an instance is served, the higher its level; and instances that see the same come to the same level within
-// two seconds, wherever they began.
+// The better an instance is served, the higher its level; and instances that see the same converge to the same
+// level within two seconds, wherever they started.
 func TestLevelFallsWithFailureRatio(t *testing.T) {
 	play := func(from, failedRatio float64) float64 {
 		var l admissionLevel
@@ -164,7 +183,7 @@
 	last := 2.0
 	for _, failedRatio := range []float64{0, 0.02, 0.05, 0.1, 0.3, 0.9} {
 		if value := play(0.5, failedRatio); value > last {
-			t.Errorf("with %v in vain the level is %.2f, over %.2f with less", failedRatio, value, last)
+			t.Errorf("with %v failed the level is %.2f, over %.2f with less", failedRatio, value, last)
 		} else {
 			last = value
 		}
@@ -174,8 +193,8 @@
 	}
 }
 
-// By worth for its work the best goes first, and what goes on adds up to the level; as the goal weighs the class served
-// worst, all are served a part.
+// The class with the highest priority weight for its cost is admitted first, and what is admitted adds up to the
+// level; where the goal weighs the class served worst, a part of all classes is served.
 func TestAdmissionFollowsPriorityWeight(t *testing.T) {
 	for _, worstClassWeight := range []float64{0, 0.2, 0.6} {
 		c := newTestController(t, testSettings(worstClassWeight, 8))
@@ -195,19 +214,25 @@
 			if math.Abs(sum-level) > 1e-9 {
 				t.Errorf("worst class %v, level %.2f: %v adds up to %.3f", worstClassWeight, level, admit, sum)
 			}
-			if lowest := admit[1]; worstClassWeight == 0 && level < 0.75 && lowest > 0 || worstClassWeight == 0.6 && lowest < level/2 {
+			lowest := admit[1]
+			if worstClassWeight == 0 && level < 0.75 && lowest > 0 || worstClassWeight == 0.6 && lowest < level/2 {
 				t.Errorf("worst class %v, level %.2f: the last class has %.2f", worstClassWeight, level, lowest)
 			}
 		}
 	}
 }
 
-// A tenant that asks for more than its part of the mix is beyond its share by that, and the other is not; two that ask for
-// twice what there is, each in its part, are both within; so is one that was given no allowance.
+// A tenant whose demand is more than its part of the mix is over its share by that, and the other is not; two that
+// demand twice the capacity, each in its part, are both within; so is one without an allowance.
 func TestDemandOverTenantShare(t *testing.T) {
 	s := testSettings(0, 8)
 	s.OverShareWeight = 0.05
-	for _, test := range []struct{ allowedB, a, b, inA, inB float64 }{{50, 100, 100, 1, 1}, {50, 300, 100, 0.83, 1}, {50, 2, 0, 1, 1}, {0, 100, 300, 1, 1}} {
+	for _, test := range []struct{ allowedB, a, b, inA, inB float64 }{
+		{50, 100, 100, 1, 1},
+		{50, 300, 100, 0.83, 1},
+		{50, 2, 0, 1, 1},
+		{0, 100, 300, 1, 1},
+	} {
 		s.Tenants = []Tenant{{50}, {test.allowedB}}
 		c := newTestController(t, s)
 		for now := monotime.Micros(0); now < 4*second; now += second / 50 {
@@ -224,10 +249,12 @@
 	}
 }
 
-// One endpoint of twelve that lies about its load, either way, does not make an instance take calm for an overload or an
-// overload for calm; what makes no sense is passed over.
+// One endpoint of twelve with false load reports, either way, does not make an instance take calm for an overload
+// or an overload for calm; invalid reports are ignored.
 func TestFalseLoadReportsDoNotHideOverload(t *testing.T) {
-	for _, falseReport := range []LoadReport{{1e9, 20}, {0, 1e12}, {math.Inf(1), 5}, {math.NaN(), math.NaN()}, {-1, 30}, {5, 0}} {
+	for _, falseReport := range []LoadReport{
+		{1e9, 20}, {0, 1e12}, {math.Inf(1), 5}, {math.NaN(), math.NaN()}, {-1, 30}, {5, 0},
+	} {
 		for _, held := range []float64{2, 9} { // of 40 a second: 50 and 225 ms
 			c := newTestController(t, testSettings(0, 8))
 			now := monotime.Micros(0)
@@ -252,17 +279,20 @@
 	}
 }
 
-// A setting that makes no sense is named.
+// The error of an invalid setting names it.
 func TestInvalidSettingIsNamed(t *testing.T) {
 	for key, invalidate := range map[string]func(*Settings){
-		"classes": func(s *Settings) { s.Classes = nil }, "classes.1": func(s *Settings) { s.Classes[1].LatencyObjective = 0 },
-		"further": func(s *Settings) { s.RetryRatio = math.NaN() }, "instances": func(s *Settings) { s.Instances = 0 },
-		"node_probes": func(s *Settings) { s.MaxEndpointProbes = -1 }, "over_share": func(s *Settings) { s.OverShareWeight = 2 },
+		"classes":     func(s *Settings) { s.Classes = nil },
+		"classes.1":   func(s *Settings) { s.Classes[1].LatencyObjective = 0 },
+		"further":     func(s *Settings) { s.RetryRatio = math.NaN() },
+		"instances":   func(s *Settings) { s.Instances = 0 },
+		"node_probes": func(s *Settings) { s.MaxEndpointProbes = -1 },
+		"over_share":  func(s *Settings) { s.OverShareWeight = 2 },
 	} {
 		s := testSettings(0, 8)
 		invalidate(&s)
 		if _, err := New(s); err == nil || err.(*SettingError).Key != key {
-			t.Errorf("%s spoilt: %v", key, err)
+			t.Errorf("%s invalid: %v", key, err)
 		}
 	}
 }
--- a/internal/decide/route/route_test.go
+++ b/internal/decide/route/route_test.go
@@ -60,10 +60,12 @@
 	}
 }
 
-// What comes out names one thing to every reader: it is its own normal form, has no dot or empty segment, and no
-// reader that resolves or decodes it gets elsewhere.
+// The normal form names one resource to every server: it is its own normal form, has no dot or empty segment, and
+// no server that resolves or decodes it gets another path.
 func FuzzNormalize(f *testing.F) {
-	for _, s := range []string{"/", "/a/../b", "/%2e%2e/x", "/a%2fb", "//", "/a/.;b/..", "/%c3%a9/\xff", "/a%252e/%2E."} {
+	for _, s := range []string{
+		"/", "/a/../b", "/%2e%2e/x", "/a%2fb", "//", "/a/.;b/..", "/%c3%a9/\xff", "/a%252e/%2E.",
+	} {
 		f.Add(s, true)
 	}
 	f.Fuzz(func(t *testing.T, in string, keep bool) {
@@ -88,7 +90,9 @@
 		if err != nil {
 			t.Errorf("%q became %q: %v", in, out, err)
 		}
-		if !keep && (strings.Count(plain, "/") != strings.Count(out, "/") || path.Clean(plain) != strings.TrimSuffix(plain, "/") && plain != "/") {
+		sameSlashes := strings.Count(plain, "/") == strings.Count(out, "/")
+		isClean := path.Clean(plain) == strings.TrimSuffix(plain, "/") || plain == "/"
+		if !keep && (!sameSlashes || !isClean) {
 			t.Errorf("%q became %q, decoded %q", in, out, plain)
 		}
 	})
@@ -125,7 +129,7 @@
 }
 
 func TestSpecificPatternWins(t *testing.T) {
-	// Each takes a request of those after it.
+	// Each wins over those after it.
 	ranked := []Pattern{
 		{Host: "a.example", Path: "/x/y", Headers: []Header{{"K", "1"}, {"L", ""}}, Methods: []string{"GET"}},
 		{Host: "a.example", Path: "/x/y", Headers: []Header{{"K", "1"}}, Methods: []string{"GET"}},
@@ -145,7 +149,7 @@
 		{},
 	}
 	for first := range ranked {
-		// Whatever their order in the file.
+		// Whatever their order.
 		for _, reverse := range []bool{false, true} {
 			some := slices.Clone(ranked[first:])
 			want := 0
@@ -234,7 +238,8 @@
 	}
 }
 
-// plain is the table's plain model: it tries every pattern, and compares ranks as the package's comment states them.
+// referenceMatch is a reference for Table.Match: it checks every pattern, and compares ranks as the package's comment
+// states them.
 func referenceMatch(patterns []Pattern, host, path, method string, headers map[string][]string) int {
 	best, other := NotFound, false
 	var rank []int
@@ -312,7 +317,8 @@
 func TestTableAgainstReference(t *testing.T) {
 	segment := rapid.SampledFrom([]string{"a", "b", "{p}"})
 	pattern := rapid.Custom(func(t *rapid.T) Pattern {
-		p := Pattern{Host: rapid.SampledFrom([]string{"", "", "h.example", "*.example", "*.h.example", "example"}).Draw(t, "host")}
+		hosts := []string{"", "", "h.example", "*.example", "*.h.example", "example"}
+		p := Pattern{Host: rapid.SampledFrom(hosts).Draw(t, "host")}
 		for i := range rapid.IntRange(0, 3).Draw(t, "segments") {
 			s := segment.Draw(t, "segment")
 			if s == "{p}" {
@@ -347,7 +353,8 @@
 		}
 		for range 50 {
 			host := rapid.SampledFrom([]string{"h.example", "x.h.example", "example", "other"}).Draw(t, "host")
-			path := "/" + strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "a"}), 0, 4).Draw(t, "path"), "/")
+			segments := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "a"}), 0, 4)
+			path := "/" + strings.Join(segments.Draw(t, "path"), "/")
 			if path != "/" && rapid.Bool().Draw(t, "slash") {
 				path += "/"
 			}
@@ -360,13 +367,53 @@
 			}
 			got, want := table.Match(host, path, method, headers), referenceMatch(patterns, host, path, method, headers)
 			if got != want {
-				t.Fatalf("%s %s%s %v: %d, the model says %d, of %+v", method, host, path, headers, got, want, patterns)
+				t.Fatalf("%s %s%s %v: %d, the reference says %d, of %+v",
+					method, host, path, headers, got, want, patterns)
 			}
 		}
 	})
 }
 
-// FuzzMatch has the table decide as its plain model does, on patterns and requests made of the bytes.
+// fuzzChoices are the bytes of a fuzz test, each of which makes a choice.
+type fuzzChoices []byte
+
+// pick chooses a text by the next byte, the first text if there is none.
+func (c *fuzzChoices) pick(texts ...string) string {
+	if len(*c) == 0 {
+		return texts[0]
+	}
+	next := (*c)[0]
+	*c = (*c)[1:]
+	return texts[int(next)%len(texts)]
+}
+
+// patterns chooses patterns that do not conflict.
+func (c *fuzzChoices) patterns() []Pattern {
+	var patterns []Pattern
+	for len(*c) > 24 && len(patterns) < 40 {
+		p := Pattern{Host: c.pick("", "h.example", "*.example", "*.h.example", "example")}
+		for i := range len(c.pick("", "a", "ab", "abc")) {
+			p.Path += "/" + c.pick("a", "b", fmt.Sprintf("{p%d}", i), "", "%C3%A9")
+		}
+		if p.Path += c.pick("", "/*"); p.Path == "" {
+			p.Path = "/*"
+		}
+		if m := c.pick("", "GET", "POST"); m != "" {
+			p.Methods = []string{m}
+		}
+		for _, name := range []string{"K", "L"} {
+			if v := c.pick("-", "-", "", "1"); v != "-" {
+				p.Headers = append(p.Headers, Header{name, v})
+			}
+		}
+		if _, err := New(append(slices.Clone(patterns), p)); err == nil {
+			patterns = append(patterns, p)
+		}
+	}
+	return patterns
+}
+
+// FuzzMatch compares the table with its reference, on patterns and requests made of the bytes.
 func FuzzMatch(f *testing.F) {
 	for i := range 8 {
 		seed := make([]byte, 64)
@@ -376,41 +423,18 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		pick := func(of ...string) string {
-			if len(text) == 0 {
-				return of[0]
-			}
-			c := text[0]
-			text = text[1:]
-			return of[int(c)%len(of)]
-		}
-		var patterns []Pattern
-		for len(text) > 24 && len(patterns) < 40 {
-			p := Pattern{Host: pick("", "h.example", "*.example", "*.h.example", "example")}
-			for i := range len(pick("", "a", "ab", "abc")) {
-				p.Path += "/" + pick("a", "b", fmt.Sprintf("{p%d}", i), "", "%C3%A9")
-			}
-			if p.Path += pick("", "/*"); p.Path == "" {
-				p.Path = "/*"
-			}
-			if m := pick("", "GET", "POST"); m != "" {
-				p.Methods = []string{m}
-			}
-			for _, name := range []string{"K", "L"} {
-				if v := pick("-", "-", "", "1"); v != "-" {
-					p.Headers = append(p.Headers, Header{name, v})
-				}
-			}
-			if _, err := New(append(slices.Clone(patterns), p)); err == nil {
-				patterns = append(patterns, p)
-			}
-		}
+		choices := fuzzChoices(text)
+		pick := choices.pick
+		patterns := choices.patterns()
 		table, err := New(patterns)
 		if err != nil {
 			t.Fatal(err)
 		}
 		for range 20 {
-			path, err := NormalizePath("/"+pick("", "a", "b", "%c3%a9", "%61")+pick("", "/", "/a", "/..", "/b/")+pick("", "/a", "//b", "/."), RejectEncodedSlashes)
+			raw := "/" + pick("", "a", "b", "%c3%a9", "%61")
+			raw += pick("", "/", "/a", "/..", "/b/")
+			raw += pick("", "/a", "//b", "/.")
+			path, err := NormalizePath(raw, RejectEncodedSlashes)
 			if err != nil {
 				continue
 			}
@@ -420,20 +444,25 @@
 					headers[name] = []string{v}
 				}
 			}
-			host, method := NormalizeHost(pick("h.example", "X.h.Example.", "example:80", "other")), pick("GET", "POST", "PUT")
-			if got, want := table.Match(host, path, method, headers), referenceMatch(patterns, host, path, method, headers); got != want {
-				t.Fatalf("%s %s%s %v: %d, the model says %d, of %+v", method, host, path, headers, got, want, patterns)
+			host := NormalizeHost(pick("h.example", "X.h.Example.", "example:80", "other"))
+			method := pick("GET", "POST", "PUT")
+			got := table.Match(host, path, method, headers)
+			want := referenceMatch(patterns, host, path, method, headers)
+			if got != want {
+				t.Fatalf("%s %s%s %v: %d, the reference says %d, of %+v",
+					method, host, path, headers, got, want, patterns)
 			}
 		}
 	})
 }
 
-// table returns one of n routes over hosts and templates, and requests that some of them take.
+// bigTable returns a table of n routes over hosts and templates, and paths that some of them match.
 func bigTable(n int) (*Table, []string) {
 	var patterns []Pattern
 	var paths []string
 	for i := range n {
-		patterns = append(patterns, Pattern{Path: fmt.Sprintf("/service-%d/{clinic}/cards/{card}", i), Methods: []string{"GET"}})
+		path := fmt.Sprintf("/service-%d/{clinic}/cards/{card}", i)
+		patterns = append(patterns, Pattern{Path: path, Methods: []string{"GET"}})
 		paths = append(paths, fmt.Sprintf("/service-%d/sonrisa/cards/7", i))
 	}
 	table, err := New(patterns)
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -28,7 +28,7 @@
 	return x
 }
 
-// spread returns the load of each endpoint, of instances that ask for one each.
+// endpointLoads returns the load of each endpoint, by instances with a load of one each.
 func endpointLoads(fleet []*Set) map[string]float64 {
 	load := map[string]float64{}
 	for _, x := range fleet {
@@ -40,16 +40,20 @@
 }
 
 func TestInvalidSettingIsNamed(t *testing.T) {
-	for key, s := range map[string]Settings{"least": {}, "instances": {MinMembers: 1, Instances: -1},
-		"idle_connections": {MinMembers: 1, EndpointIdleConnections: 3}, "probes": {MinMembers: 1, Instances: 2, EndpointProbes: math.NaN()}} {
-		var bad *SettingError
-		if _, err := New(s); !errors.As(err, &bad) || bad.Key != key {
+	for key, s := range map[string]Settings{
+		"least":            {},
+		"instances":        {MinMembers: 1, Instances: -1},
+		"idle_connections": {MinMembers: 1, EndpointIdleConnections: 3},
+		"probes":           {MinMembers: 1, Instances: 2, EndpointProbes: math.NaN()},
+	} {
+		var invalid *SettingError
+		if _, err := New(s); !errors.As(err, &invalid) || invalid.Key != key {
 			t.Errorf("%s: %v", key, err)
 		}
 	}
 }
 
-// Any list, any lot: shares are whole, a whole lot loads each endpoint by its weight exactly, and any zones' parts hold.
+// Any list, any group: shares add up to one, and a full group loads each endpoint by its weight exactly.
 func TestLoadFollowsWeightExactly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 120).Draw(t, "endpoints")
@@ -78,13 +82,13 @@
 		load := endpointLoads(fleet)
 		for _, e := range list {
 			if want := float64(arcs) * e.Weight / total; math.Abs(load[e.ID]-want) > 1e-6 {
-				t.Fatalf("%s gets %v of a lot of %d, its weight is %v", e.ID, load[e.ID], arcs, want)
+				t.Fatalf("%s gets %v of a group of %d, its weight is %v", e.ID, load[e.ID], arcs, want)
 			}
 		}
 	})
 }
 
-// One endpoint that comes or goes moves a bounded part: what it had, and the ends of arcs.
+// One endpoint that is removed changes few members: those in its place, and at the ends of arcs.
 func TestRemovedEndpointMovesFewMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(20, 200).Draw(t, "endpoints")
@@ -99,7 +103,7 @@
 		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
 		x.SetEndpoints(0, append(append([]Endpoint{}, list[:gone]...), list[gone+1:]...))
 		if x.arcCount() != arcs {
-			return // the list has shrunk to where the arcs are fewer
+			return // the shorter list has fewer arcs
 		}
 		fresh := 0
 		for _, m := range x.Members() {
@@ -113,7 +117,8 @@
 	})
 }
 
-// A fleet that ends within a lot, has lost half of its instances, or has no numbers: how uneven it is, by simulation.
+// How uneven the load is of a fleet that ends within a group, has lost half of its instances, or has no positions, by
+// simulation.
 func TestImbalanceOfPartialFleets(t *testing.T) {
 	list := testEndpoints(200)
 	highestToMean := func(load map[string]float64, mean float64) float64 {
@@ -146,8 +151,7 @@
 	}
 }
 
-// play lets a fleet decide until nothing is due any more or the time is up, and returns how many steps were made and the
-// most in any 100 ms.
+// runSteps advances a fleet until an instant, and returns how many steps were made, and the maximum in any 100 ms.
 func runSteps(fleet []*Set, from, until monotime.Micros) (steps, burst int) {
 	for now := from; now < until; now += 100_000 {
 		n := 0
@@ -166,8 +170,8 @@
 	return steps, burst
 }
 
-// A fifth of the endpoints turns bad: those whose members are mostly bad widen, not all at once and not further than
-// needed; what is well gets their traffic evenly; when all is well again they narrow, and nothing swings.
+// A fifth of the endpoints becomes unhealthy: subsets with mostly unhealthy members widen, not all at once and no more
+// than needed; when all are healthy again they narrow, and nothing oscillates.
 func TestWidensWhileUnhealthyAndNarrowsAfter(t *testing.T) {
 	list := testEndpoints(60)
 	var fleet []*Set
@@ -191,7 +195,7 @@
 			}
 		}
 		if healthy <= 0 {
-			t.Error("an instance has no member that is well")
+			t.Error("an instance has no healthy member")
 		}
 	}
 	if steps == 0 || burst > steps/4+1 {
@@ -204,12 +208,13 @@
 	runSteps(fleet, 300*second, 400*second)
 	for _, x := range fleet {
 		if x.Doublings() > 0 {
-			t.Error("an instance stays wide where all is well")
+			t.Error("an instance stays wide where all are healthy")
 		}
 	}
 }
 
-// A whole subset that is bad widens until half of an arc's weight is well; if all are bad it takes the whole list, and stops.
+// A subset without healthy members widens until half of an arc's weight is healthy; if no endpoint is, it takes
+// the full list, and stops.
 func TestUnhealthySubsetWidens(t *testing.T) {
 	list := testEndpoints(100)
 	x := newTestSet(t, 7, 4, list)
@@ -224,18 +229,18 @@
 		}
 	}
 	if healthy < 2 || x.Doublings() > 2 {
-		t.Errorf("%d members are well after %d steps", healthy, x.Doublings())
+		t.Errorf("%d members are healthy after %d steps", healthy, x.Doublings())
 	}
 	for _, e := range list {
 		x.SetUnhealthy(60*second, e.ID, true)
 	}
 	runSteps([]*Set{x}, 60*second, 200*second)
 	if _, due := x.NextStep(); len(x.Members()) != 100 || due {
-		t.Errorf("%d members where all are bad, more to come: %v", len(x.Members()), due)
+		t.Errorf("%d members where all are unhealthy, more to come: %v", len(x.Members()), due)
 	}
 }
 
-// Few endpoints and many instances, many endpoints and few instances, none, and entries that make no sense.
+// Few endpoints and many instances, many endpoints and few instances, none, and invalid entries.
 func TestUnusualEndpointLists(t *testing.T) {
 	for _, c := range []struct{ endpoints, members int }{{0, 0}, {1, 1}, {3, 3}, {7, 7}} {
 		if x := newTestSet(t, 4999, 8, testEndpoints(c.endpoints)); len(x.Members()) != c.members {
@@ -250,7 +255,9 @@
 	if len(x.Members()) != 500 {
 		t.Errorf("three instances, 500 endpoints that hold 100 connections each: %d members", len(x.Members()))
 	}
-	x.SetEndpoints(0, []Endpoint{{ID: ""}, {ID: "a", Weight: math.NaN()}, {ID: "a"}, {ID: "b", Weight: -1}, {ID: "c", Weight: math.Inf(1)}})
+	x.SetEndpoints(0, []Endpoint{
+		{ID: ""}, {ID: "a", Weight: math.NaN()}, {ID: "a"}, {ID: "b", Weight: -1}, {ID: "c", Weight: math.Inf(1)},
+	})
 	if len(x.Members()) != 3 {
 		t.Errorf("%v", x.Members())
 	}
@@ -261,12 +268,17 @@
 	}
 }
 
-// What the fleet spends at a node stays the same from 50 to 20,000 instances, and within ten times where its size is told
-// wrong by ten.
+// What the fleet uses of an endpoint's budgets is the same from 50 to 20,000 instances, and within ten times if its
+// size is set wrong by ten.
 func TestEndpointBudgetsDoNotDependOnFleetSize(t *testing.T) {
 	for _, told := range []float64{0.1, 1, 10} {
 		for _, n := range []int{50, 500, 5000, 20000} {
-			x, err := New(Settings{MinMembers: 3, Instances: int(told * float64(n)), EndpointIdleConnections: 60, EndpointProbes: 20})
+			x, err := New(Settings{
+				MinMembers:              3,
+				Instances:               int(told * float64(n)),
+				EndpointIdleConnections: 60,
+				EndpointProbes:          20,
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -274,17 +286,20 @@
 			b := x.Budgets()
 			for name, got := range map[string]float64{"idle": b.IdleConnections / 60, "probes": b.Probes / 20} {
 				if all := got * float64(n) / 60; math.Abs(all*told-1) > 1e-9 {
-					t.Errorf("%d instances, told times %v: %s at a node is %v times its bound", n, told, name, all)
+					t.Errorf("%d instances, set times %v: %s at an endpoint is %v times its bound", n, told, name, all)
 				}
 			}
 		}
 	}
 }
 
-// No window of any length gives more than its rate and the burst; what is due is not lost, however seldom it is asked for.
+// No window of any length gives more than its rate and the burst; no token is lost, however seldom Take is called.
 func TestTokenBucketRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := TokenBucket{Rate: rapid.Float64Range(0.001, 50).Draw(t, "rate"), Burst: rapid.Float64Range(0, 5).Draw(t, "burst")}
+		b := TokenBucket{
+			Rate:  rapid.Float64Range(0.001, 50).Draw(t, "rate"),
+			Burst: rapid.Float64Range(0, 5).Draw(t, "burst"),
+		}
 		first := rapid.Float64Range(0, 1).Draw(t, "first")
 		var now monotime.Micros
 		var taken []monotime.Micros
@@ -299,8 +314,9 @@
 		}
 		for i := range taken {
 			for j := i; j < len(taken); j++ {
-				if most := max(1, b.Burst) + b.Rate*float64(taken[j]-taken[i])/float64(second) + 1e-6; float64(j-i+1) > most {
-					t.Fatalf("%d within %d us, %v at most", j-i+1, taken[j]-taken[i], most)
+				limit := max(1, b.Burst) + b.Rate*float64(taken[j]-taken[i])/float64(second) + 1e-6
+				if float64(j-i+1) > limit {
+					t.Fatalf("%d within %d us, %v at most", j-i+1, taken[j]-taken[i], limit)
 				}
 			}
 		}
@@ -318,12 +334,12 @@
 		t.Errorf("%d in an hour of one a minute", n)
 	}
 	if ok, _ := (&TokenBucket{}).Take(0, 0); !ok {
-		t.Error("no bound bounds")
+		t.Error("a bucket without a limit has one")
 	}
 }
 
-// The arc follows the own load: within a second from a quiet instance to one that needs half of the list, no wider than its
-// band calls for, back when it is quiet again, and at any even load it comes to rest.
+// The arc follows the own load: within a second from a quiet instance to one that needs half of the list, no
+// wider than the load band requires, back when it is quiet again, and at any even load it becomes stable.
 func TestWidthFollowsOwnLoad(t *testing.T) {
 	list := testEndpoints(64)
 	x := newTestSet(t, 5, 4, list)
@@ -339,11 +355,13 @@
 		t.Errorf("%d members where it is quiet again, %d before", n, quiet)
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		x := newTestSet(t, rapid.IntRange(0, 5000).Draw(r, "position"), rapid.IntRange(1, 12).Draw(r, "least"), testEndpoints(rapid.IntRange(1, 64).Draw(r, "nodes")))
+		position := rapid.IntRange(0, 5000).Draw(r, "position")
+		least := rapid.IntRange(1, 12).Draw(r, "least")
+		x := newTestSet(t, position, least, testEndpoints(rapid.IntRange(1, 64).Draw(r, "nodes")))
 		load := rapid.Float64Range(0, 300).Draw(r, "load")
 		now := monotime.Micros(0)
 		for range 3 { // from wherever the one before has left it
-			for i := range 150 { // told again and again, as an engine does
+			for i := range 150 { // set again and again, as an engine does
 				now += second
 				x.SetLoad(now, load*(1+0.2*float64(i%2)))
 				x.Advance(now)
