--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -432,7 +432,7 @@
 	for _, kind := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared}[:steps] {
 		m := takeover.Message{Kind: kind}
 		if kind == decide.Hello {
-			m.Text = fmt.Append(nil, decide.Version)
+			m.Payload = fmt.Append(nil, decide.Version)
 		}
 		if err := c.Write(m); err != nil {
 			h.t.Fatal(err)
@@ -506,7 +506,7 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
-			for i, answer := range []decide.Event{decide.Offer, decide.Go, decide.Yours} {
+			for i, answer := range []decide.Event{decide.Offer, decide.Handover, decide.Activate} {
 				m, err := c.ReadWithin(scriptedpeer.Soon)
 				if err != nil {
 					t.Fatalf("step %d: %v", i, err)
@@ -563,11 +563,11 @@
 func TestOldOneGarbles(t *testing.T) {
 	for name, answers := range map[string][]takeover.Message{
 		"says nothing":       {},
-		"refuses":            {{Kind: decide.Refused, Text: []byte("version 0")}},
-		"garbled offer":      {{Kind: decide.Offer, Text: []byte("DLSS and then no sense")}},
+		"refuses":            {{Kind: decide.Rejected, Payload: []byte("version 0")}},
+		"garbled offer":      {{Kind: decide.Offer, Payload: []byte("DLSS and then no sense")}},
 		"silent after Ready": {{Kind: decide.Offer}, {}},
-		"garbled at the end": {{Kind: decide.Offer}, {Kind: decide.Go, Text: []byte("{")}},
-		"unknown messages":   {{Kind: 77, Text: []byte("?")}, {Kind: 99}},
+		"garbled at the end": {{Kind: decide.Offer}, {Kind: decide.Handover, Payload: []byte("{")}},
+		"unknown messages":   {{Kind: 77, Payload: []byte("?")}, {Kind: 99}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -112,7 +112,7 @@
 func (p *process) life(g *generation, giver *takeover.Conn) *life {
 	l := newLife(p.stop, g, giver)
 	l.began = func() {
-		addresses, given := l.addresses(), l.taker.Given()
+		addresses, given := l.addresses(), l.taker.ReceivesConnections()
 		p.post(func() { p.accepted(l, addresses, given) })
 	}
 	l.busy = func(yes bool) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -32,7 +32,7 @@
 	bound bool           // to take over in this process, or to end
 	told  bool           // the last that busy was told
 
-	taker    decide.Taker
+	taker    decide.Successor
 	from     *takeover.Conn // the giver; nil once there is none
 	offered  offer
 	files    []net.Listener // listening sockets offered, in the offer's order
@@ -40,7 +40,7 @@
 	started  bool
 	accepted bool
 
-	giver   decide.Giver
+	giver   decide.Predecessor
 	takeLn  *takeover.Listener
 	takes   sync.WaitGroup // the accept loop of takeLn
 	to      *takeover.Conn // the taker; nil while there is none
@@ -66,7 +66,7 @@
 	times := decide.Times{Ready: clock.Micros(t.ReadyWithin.Duration), Answer: clock.Micros(answerTime),
 		Drain: clock.Micros(t.DrainWithin.Duration)}
 	l := &life{generation: d, stop: stop, from: giver, bound: giver != nil,
-		began: func() {}, busy: func(bool) {}, taker: decide.Taker{Times: times}, giver: decide.Giver{Times: times}}
+		began: func() {}, busy: func(bool) {}, taker: decide.Successor{Times: times}, giver: decide.Predecessor{Times: times}}
 	l.loop = takeover.NewLoop(l.woken)
 	return l
 }
@@ -93,7 +93,7 @@
 
 // finish gives everything back, whatever came before.
 func (l *life) finish() {
-	l.loop.End()
+	l.loop.Close()
 	if l.waiting != nil {
 		l.waiting()
 	}
@@ -115,14 +115,14 @@
 		nc.Close()
 	}
 	l.generation.end()
-	l.loop.Beside.Wait()
+	l.loop.Goroutines.Wait()
 }
 
 func now() monotime.Micros { return takeover.Monotonic() }
 
 func (l *life) woken() {
-	l.takerStep(decide.Wake, "")
-	l.giverStep(decide.Wake)
+	l.takerStep(decide.DeadlineReached, "")
+	l.giverStep(decide.DeadlineReached)
 }
 
 func (l *life) stopped() {
@@ -149,7 +149,7 @@
 	if l.from != nil {
 		l.log.Info("taking over in this process")
 		l.loop.Read(l.from, l.fromGiver)
-		l.takerSteps(l.taker.Begin(now()))
+		l.takerSteps(l.taker.Connected(now()))
 		return nil
 	}
 	if path == "" {
@@ -166,7 +166,7 @@
 	l.from = c
 	l.log.Info("taking over", "socket", path)
 	l.loop.Read(c, l.fromGiver)
-	l.takerSteps(l.taker.Begin(now()))
+	l.takerSteps(l.taker.Connected(now()))
 	return nil
 }
 
@@ -180,15 +180,15 @@
 	switch m.Kind {
 	case decide.Offer:
 		l.inherit(m)
-	case takeover.Handed:
+	case takeover.ConnectionHandedOver:
 		l.adopt(m)
 		return
-	case decide.Go:
-		l.state = m.Text
+	case decide.Handover:
+		l.state = m.Payload
 	}
 	m.CloseFiles()
-	l.takerStep(m.Kind, string(m.Text))
-	if l.emptied && !l.taker.Given() {
+	l.takerStep(m.Kind, string(m.Payload))
+	if l.emptied && !l.taker.ReceivesConnections() {
 		l.emptied = false
 		l.drained()
 	}
@@ -205,25 +205,25 @@
 		}
 		switch s.Action {
 		case decide.Send:
-			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+			m := takeover.Message{Kind: s.Message, Payload: []byte(s.Reason)}
 			if s.Message == decide.Hello {
-				m = takeover.Greeting()
+				m = takeover.HelloMessage()
 			}
 			l.from.Write(m) // a failure shows as the connection's end
-		case decide.Hang:
+		case decide.Disconnect:
 			l.from.Close()
 			l.from = nil
-		case decide.Start:
+		case decide.StartWithOffer:
 			if err := l.startWith(); err != nil {
-				l.from.Write(takeover.Message{Kind: decide.Refused, Text: []byte(err.Error())})
+				l.from.Write(takeover.Message{Kind: decide.Rejected, Payload: []byte(err.Error())})
 				l.end(err)
 			}
-		case decide.Take:
+		case decide.RestoreState:
 			l.restore(l.decode(l.state, "at the handover"), "at the handover")
 			l.state = nil
-		case decide.Accept:
+		case decide.StartServing:
 			l.serve()
-		case decide.Cold:
+		case decide.StartAlone:
 			if l.bound {
 				l.end(errf("what served in this process has ended"))
 			} else if err := l.cold(); err != nil {
@@ -241,7 +241,7 @@
 
 // inherit takes the listening sockets that are offered.
 func (l *life) inherit(m takeover.Message) {
-	if err := json.Unmarshal(m.Text, &l.offered); err != nil {
+	if err := json.Unmarshal(m.Payload, &l.offered); err != nil {
 		l.log.Warn("what is offered makes no sense", "error", err)
 		l.offered = offer{}
 	}
@@ -280,7 +280,7 @@
 	if s != nil {
 		// The watch goes on where the giver's stands: a whole list might be older than what it has told.
 		for name, p := range l.pools {
-			if from := s.Core.Pool(name); from != nil && p.watch != nil && from.Source == p.conf.Source() {
+			if from := s.Snapshot.Pool(name); from != nil && p.watch != nil && from.Source == p.conf.Source() {
 				p.watch.StartAfter(from.Generation)
 			}
 		}
@@ -319,14 +319,14 @@
 	if s == nil {
 		return
 	}
-	age := max(0, takeover.Monotonic()-s.Taken)
-	passed := l.core.Restore(s.Core, age)
-	if o := s.Core.Maintenance; o != nil {
+	age := max(0, takeover.Monotonic()-s.TakenAt)
+	passed := l.core.Restore(s.Snapshot, age)
+	if o := s.Snapshot.Maintenance; o != nil {
 		from := l.clk.Now() - age
 		l.inherited = &engine.MaintenancePlan{Stopped: o.Stopped, Announced: o.Announced, LeaseEnd: from + o.LeaseEnd, DrainDeadline: from + o.DrainDeadline}
 		l.core.ApplyMaintenancePlan(*l.inherited)
 	}
-	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(s.Core.Pools),
+	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(s.Snapshot.Pools),
 		"passed over", passed)
 }
 
@@ -360,7 +360,7 @@
 
 // cold starts with nothing: it listens, and serves once discovery has told of an endpoint.
 func (l *life) cold() error {
-	l.taker.Alone()
+	l.taker.ServeAlone()
 	if err := l.listen(l.stop, nil, nil, bindFor); err != nil {
 		return err
 	}
@@ -392,7 +392,7 @@
 	l.taken = nil
 	path := l.o.Config.Takeover.Socket
 	if l.takeLn != nil && l.takeLn.Path() != path {
-		l.takeLn.Keep(false)
+		l.takeLn.KeepPath(false)
 		l.takeLn.Close()
 		l.takeLn = nil
 	}
@@ -405,7 +405,7 @@
 		}
 	}
 	if l.takeLn != nil {
-		l.takeLn.Keep(false)
+		l.takeLn.KeepPath(false)
 		l.acceptTakers()
 	}
 	l.log.Info("serving", "name", l.o.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
@@ -458,13 +458,13 @@
 
 // begins begins with a taker, if there is none yet.
 func (l *life) begins(c *takeover.Conn, m takeover.Message) {
-	why := takeover.Unwelcome(m)
+	why := takeover.HelloProblem(m)
 	if why == "" && l.to != nil {
 		why = "another takeover is under way"
 	}
 	if why != "" {
 		l.log.Warn("a process that wants to take over is turned away", "reason", why)
-		c.Refuse(why)
+		c.Reject(why)
 		return
 	}
 	l.to = c
@@ -477,8 +477,8 @@
 	if c != l.to {
 		return
 	}
-	if m.Kind == decide.Refused || m.Kind == decide.Broken {
-		l.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Text))
+	if m.Kind == decide.Rejected || m.Kind == decide.ConnectionLost {
+		l.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Payload))
 	}
 	l.giverStep(m.Kind)
 }
@@ -496,29 +496,29 @@
 		switch s.Action {
 		case decide.Send:
 			l.tell(s)
-		case decide.Hang:
+		case decide.Disconnect:
 			l.hangUp()
-		case decide.Close:
+		case decide.StopAccepting:
 			l.closeFront()
-		case decide.Reopen:
+		case decide.ResumeServing:
 			l.reopen()
-		case decide.Release:
+		case decide.HandOverConnections:
 			l.release()
 		case decide.Drain:
 			l.drain()
-		case decide.Finish:
+		case decide.DrainForSuccessor:
 			l.log.Info("ending, another process serves")
 			l.front.Release(nil)
 			l.front.Quiesce()
 			l.drained()
-		case decide.Cut:
+		case decide.CloseRemaining:
 			l.log.Warn("what is still open is ended: takeover.drain_within is over")
 			l.front.Cut()
-		case decide.End:
+		case decide.Exit:
 			l.end(nil)
 		}
 	}
-	if yes := l.giver.Busy(); yes != l.told {
+	if yes := l.giver.HandingOver(); yes != l.told {
 		l.told = yes
 		l.busy(yes)
 	}
@@ -528,26 +528,26 @@
 	if l.to == nil {
 		return
 	}
-	m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+	m := takeover.Message{Kind: s.Message, Payload: []byte(s.Reason)}
 	switch s.Message {
 	case decide.Offer:
 		m = l.offer()
-	case decide.Go:
-		m.Text, l.state = l.state, nil
-	case decide.Yours:
-		l.takerStep(decide.Passed, "") // before the other side accepts
+	case decide.Handover:
+		m.Payload, l.state = l.state, nil
+	case decide.Activate:
+		l.takerStep(decide.HandedOver, "") // before the other side accepts
 		// From here on the paths of unix sockets are the taker's.
 		for _, ln := range l.listeners {
 			ln.keep(true)
 		}
 		if l.takeLn != nil {
-			l.takeLn.Keep(true)
+			l.takeLn.KeepPath(true)
 		}
 		l.log.Info("handed over", "waiting for", "open requests and connections")
 	}
 	if err := l.to.Write(m); err != nil {
 		l.log.Warn("takeover", "error", err)
-		l.loop.Broke(l.to, err, l.fromTaker)
+		l.loop.PostConnectionLost(l.to, err, l.fromTaker)
 	}
 }
 
@@ -565,9 +565,9 @@
 		l.log.Error("offer", "error", err)
 	}
 	if l.takeLn != nil {
-		socks = append(socks, l.takeLn.Sock())
+		socks = append(socks, l.takeLn.Socket())
 	}
-	return takeover.Message{Kind: decide.Offer, Text: text, Socks: socks}
+	return takeover.Message{Kind: decide.Offer, Payload: text, Sockets: socks}
 }
 
 // closeFront accepts nothing more and leaves to the taker what it will need.
@@ -595,7 +595,7 @@
 
 func (l *life) reopen() {
 	l.log.Info("serving on, as before")
-	l.takerStep(decide.TookBack, "")
+	l.takerStep(decide.Resumed, "")
 	l.emptied = false
 	l.front.Release(nil)
 	l.core.CancelHandover()
@@ -608,7 +608,7 @@
 		ln.accept(l.front)
 	}
 	if l.takeLn != nil {
-		l.takeLn.Keep(false)
+		l.takeLn.KeepPath(false)
 		l.acceptTakers()
 	}
 }
@@ -616,7 +616,7 @@
 // release hands connections over as they come to rest, and tells once there are none left.
 func (l *life) release() {
 	to := l.to
-	l.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
+	l.front.Release(func(nc net.Conn) bool { return to.HandOver(nc) == nil })
 	l.drained()
 }
 
@@ -649,7 +649,7 @@
 	l.beside.Go(func() {
 		if l.front.Wait(ctx) == nil {
 			l.loop.Post(func() {
-				if l.emptied = l.taker.Given(); !l.emptied {
+				if l.emptied = l.taker.ReceivesConnections(); !l.emptied {
 					l.giverStep(decide.Drained)
 				}
 			})
@@ -659,7 +659,7 @@
 
 // encode returns the form of what we know, nothing where it has none: the taker then begins with less.
 func (l *life) encode(s *engine.Snapshot) []byte {
-	state := takeover.State{Taken: takeover.Monotonic(), Core: s}
+	state := takeover.State{TakenAt: takeover.Monotonic(), Snapshot: s}
 	text, err := state.Encode()
 	if err != nil {
 		l.log.Error("what was learned cannot be handed over", "error", err)
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -204,7 +204,7 @@
 			return false
 		}
 		defer c.Close()
-		c.Write(takeover.Message{Kind: decide.Hello, Text: []byte("1")})
+		c.Write(takeover.Message{Kind: decide.Hello, Payload: []byte("1")})
 		m, err := c.Read()
 		m.CloseFiles()
 		return err == nil && m.Kind == decide.Offer
@@ -241,7 +241,7 @@
 
 func (k *taking) say(kind decide.Event, text string) {
 	k.Helper()
-	if err := k.Write(takeover.Message{Kind: kind, Text: []byte(text)}); err != nil {
+	if err := k.Write(takeover.Message{Kind: kind, Payload: []byte(text)}); err != nil {
 		k.Fatal(err)
 	}
 }
@@ -258,8 +258,8 @@
 		if m.Kind == kind {
 			return m
 		}
-		if m.Kind != takeover.Handed {
-			k.Fatalf("%v %q, want %v", m.Kind, m.Text, kind)
+		if m.Kind != takeover.ConnectionHandedOver {
+			k.Fatalf("%v %q, want %v", m.Kind, m.Payload, kind)
 		}
 	}
 }
@@ -275,29 +275,29 @@
 		{"killed before it is ready", func(k *taking) { k.hear(decide.Offer); k.Close() }},
 		{"hangs before it is ready", func(k *taking) {
 			k.hear(decide.Offer)
-			if m := k.hear(decide.Refused); !strings.Contains(string(m.Text), "not ready in time") {
-				k.Errorf("told %q", m.Text)
+			if m := k.hear(decide.Rejected); !strings.Contains(string(m.Payload), "not ready in time") {
+				k.Errorf("told %q", m.Payload)
 			}
 		}},
 		{"killed once ready", func(k *taking) { k.hear(decide.Offer); k.say(decide.Ready, ""); k.Close() }},
 		{"killed while nobody accepts", func(k *taking) {
 			k.hear(decide.Offer)
 			k.say(decide.Ready, "")
-			k.hear(decide.Go)
+			k.hear(decide.Handover)
 			k.Close()
 		}},
 		{"killed as all is its own", func(k *taking) {
 			k.hear(decide.Offer)
 			k.say(decide.Ready, "")
-			k.hear(decide.Go)
+			k.hear(decide.Handover)
 			k.say(decide.Prepared, "")
-			k.hear(decide.Yours)
+			k.hear(decide.Activate)
 			k.Close()
 		}},
-		{"says no", func(k *taking) { k.hear(decide.Offer); k.say(decide.Refused, "no room"); k.Close() }},
+		{"says no", func(k *taking) { k.hear(decide.Offer); k.say(decide.Rejected, "no room"); k.Close() }},
 		{"talks out of turn", func(k *taking) {
 			k.hear(decide.Offer)
-			for _, e := range []decide.Event{decide.Prepared, decide.Yours, decide.Stopping, 77, decide.Hello} {
+			for _, e := range []decide.Event{decide.Prepared, decide.Activate, decide.Stopping, 77, decide.Hello} {
 				k.say(e, "nonsense")
 			}
 			k.Close()
@@ -349,21 +349,21 @@
 		other := &taking{t, must(takeover.Dial(d.o.Config.Takeover.Socket))}
 		defer other.Close()
 		other.say(decide.Hello, fmt.Sprint(decide.Version))
-		if m := other.hear(decide.Refused); !strings.Contains(string(m.Text), "under way") {
-			t.Errorf("a second taker was told %q", m.Text)
+		if m := other.hear(decide.Rejected); !strings.Contains(string(m.Payload), "under way") {
+			t.Errorf("a second taker was told %q", m.Payload)
 		}
 		k.Close()
 		var m takeover.Message
 		scriptedpeer.Eventually(t, "an answer to the version", func() bool {
 			c := must(takeover.Dial(d.o.Config.Takeover.Socket))
 			defer c.Close()
-			c.Write(takeover.Message{Kind: decide.Hello, Text: []byte("999")})
+			c.Write(takeover.Message{Kind: decide.Hello, Payload: []byte("999")})
 			var err error
 			m, err = c.Read()
-			return err == nil && strings.Contains(string(m.Text), "version 1")
+			return err == nil && strings.Contains(string(m.Payload), "version 1")
 		})
-		if m.Kind != decide.Refused {
-			t.Errorf("%v %q", m.Kind, m.Text)
+		if m.Kind != decide.Rejected {
+			t.Errorf("%v %q", m.Kind, m.Payload)
 		}
 		d.stillServes(t)
 	})
@@ -414,7 +414,7 @@
 		k.ask(t, request("look", 900, ""))
 	}
 	state := func(edit func(*takeover.State)) []byte {
-		s := &takeover.State{Taken: takeover.Monotonic(), Core: d.core.Snapshot()}
+		s := &takeover.State{TakenAt: takeover.Monotonic(), Snapshot: d.core.Snapshot()}
 		edit(s)
 		return must(s.Encode())
 	}
@@ -425,7 +425,7 @@
 	version[7]++
 	rename := func(old, new string) func(s *takeover.State) {
 		return func(s *takeover.State) {
-			classes := s.Core.Pools[0].Classes
+			classes := s.Snapshot.Pools[0].Classes
 			for i := range classes {
 				classes[i].Name = strings.ReplaceAll(classes[i].Name, old, new)
 			}
@@ -442,12 +442,12 @@
 		{"only a head", good[:20], false},
 		{"spoilt", spoilt, false},
 		{"another version", version, false},
-		{"another discovery", state(func(s *takeover.State) { s.Core.Pools[0].Source = "discovery 127.0.0.1:1" }), false},
+		{"another discovery", state(func(s *takeover.State) { s.Snapshot.Pools[0].Source = "discovery 127.0.0.1:1" }), false},
 		{"another class", state(rename("book", "cancel")), true},
 		{"no class that is known", state(func(s *takeover.State) { rename("o", "0")(s); rename("a", "4")(s) }), true},
-		{"names missing", state(func(s *takeover.State) { s.Core.Pools[0].LearnedNames = nil }), false},
-		{"so old that nothing of it counts", state(func(s *takeover.State) { s.Taken -= 3600_000_000 }), false},
-		{"from the future", state(func(s *takeover.State) { s.Taken += 3600_000_000 }), true},
+		{"names missing", state(func(s *takeover.State) { s.Snapshot.Pools[0].LearnedNames = nil }), false},
+		{"so old that nothing of it counts", state(func(s *takeover.State) { s.TakenAt -= 3600_000_000 }), false},
+		{"from the future", state(func(s *takeover.State) { s.TakenAt += 3600_000_000 }), true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
@@ -457,11 +457,11 @@
 			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
 			g.say(decide.Offer, `{"State":"`+base64(tc.state)+`"}`)
 			g.hear(decide.Ready)
-			if err := g.Write(takeover.Message{Kind: decide.Go, Text: tc.state}); err != nil {
+			if err := g.Write(takeover.Message{Kind: decide.Handover, Payload: tc.state}); err != nil {
 				t.Fatal(err)
 			}
 			g.hear(decide.Prepared)
-			g.say(decide.Yours, "")
+			g.say(decide.Activate, "")
 			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
 			s := next.core.Snapshot().Pools[0]
 			known := len(s.Learned.Endpoints) == 1 && len(s.Learned.Endpoints[0].Window) > 0
@@ -489,31 +489,31 @@
 		{"killed before its last word", func(g *giving) {
 			g.say(decide.Offer, "{}")
 			g.hear(decide.Ready)
-			g.say(decide.Go, "")
+			g.say(decide.Handover, "")
 			g.hear(decide.Prepared)
 			g.Close()
 		}, true},
 		{"told to stop meanwhile", func(g *giving) {
 			g.say(decide.Offer, "{}")
-			g.say(decide.Go, "")
+			g.say(decide.Handover, "")
 			g.hear(decide.Prepared)
-			g.say(decide.Yours, "")
+			g.say(decide.Activate, "")
 			g.say(decide.Done, "")
 		}, true},
-		{"says no", func(g *giving) { g.say(decide.Refused, "another takeover is under way") }, false},
+		{"says no", func(g *giving) { g.say(decide.Rejected, "another takeover is under way") }, false},
 		{"says no late", func(g *giving) {
 			g.say(decide.Offer, "{}")
 			g.hear(decide.Ready)
-			g.say(decide.Go, "")
+			g.say(decide.Handover, "")
 			g.hear(decide.Prepared)
-			g.say(decide.Refused, "no answer in time")
+			g.say(decide.Rejected, "no answer in time")
 		}, false},
 		{"offers nonsense", func(g *giving) {
 			g.say(decide.Offer, "}")
 			g.hear(decide.Ready)
-			g.say(decide.Go, "nonsense")
+			g.say(decide.Handover, "nonsense")
 			g.hear(decide.Prepared)
-			g.say(decide.Yours, "")
+			g.say(decide.Activate, "")
 		}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -554,15 +554,15 @@
 	k := take(t, c.Takeover.Socket)
 	k.hear(decide.Offer)
 	d.stop()
-	k.hear(decide.Go)
+	k.hear(decide.Handover)
 	waiting := dial(t, "tcp", d.addrs["desk"]) // nobody accepts it yet
 	if _, err := io.WriteString(waiting, request("look", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
 	k.say(decide.Prepared, "")
-	k.hear(decide.Yours)
+	k.hear(decide.Activate)
 	m, err := k.Read()
-	if err != nil || m.Kind != takeover.Handed || len(m.Files) != 1 {
+	if err != nil || m.Kind != takeover.ConnectionHandedOver || len(m.Files) != 1 {
 		t.Errorf("the connection at rest: %v, %d files, %v", m.Kind, len(m.Files), err)
 	}
 	m.CloseFiles()
@@ -665,9 +665,9 @@
 	b := must(ln.Accept())
 	defer b.Close()
 	big := strings.Repeat("x", 1<<20)
-	go a.Write(takeover.Message{Kind: decide.Go, Text: []byte(big)})
-	if m, err := b.Read(); err != nil || m.Kind != decide.Go || string(m.Text) != big {
-		t.Errorf("%v, %d bytes, %v", m.Kind, len(m.Text), err)
+	go a.Write(takeover.Message{Kind: decide.Handover, Payload: []byte(big)})
+	if m, err := b.Read(); err != nil || m.Kind != decide.Handover || string(m.Payload) != big {
+		t.Errorf("%v, %d bytes, %v", m.Kind, len(m.Payload), err)
 	}
 	a.Close()
 	if _, err := b.Read(); err == nil {
--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -47,51 +47,51 @@
 	Hello Event = iota
 	Offer
 	Ready
-	Go
+	Handover
 	Prepared
-	Yours
+	Activate
 	Done
-	Stopping // the taker ends in order: whoever was told to stop it wants no giver to go on
-	Refused  // the other side says no
-	Broken   // the connection to the other side has ended without that
-	Wake     // the instant that Deadline named has come
-	Stop     // the host was told to end
-	Started  // Taker: the host could serve
-	Drained  // Giver: the host holds no connection any more, and none will be handed to it
-	Passed   // Taker: the host gives on to another that is to accept; the same to its own giver
-	TookBack // Taker: that one is lost, and the host accepts again; the same to its own giver
+	Stopping        // the taker ends in order: whoever was told to stop it wants no giver to go on
+	Rejected        // the other side says no
+	ConnectionLost  // the connection to the other side has ended without that
+	DeadlineReached // the instant that Deadline named has come
+	Stop            // the host was told to end
+	Started         // Taker: the host could serve
+	Drained         // Giver: the host holds no connection any more, and none will be handed to it
+	HandedOver      // Taker: the host gives on to another that is to accept; the same to its own giver
+	Resumed         // Taker: that one is lost, and the host accepts again; the same to its own giver
 )
 
-var events = [...]string{"hello", "offer", "ready", "go", "prepared", "yours", "done", "stopping", "refused", "broken",
+var eventNames = [...]string{"hello", "offer", "ready", "go", "prepared", "yours", "done", "stopping", "refused", "broken",
 	"wake", "stop", "started", "drained", "passed", "took back"}
 
-func (e Event) String() string { return events[e] }
+func (e Event) String() string { return eventNames[e] }
 
 // Action is what a host is to do.
 type Action uint8
 
 // The actions.
 const (
-	Send    Action = iota // the message that Step names
-	Hang                  // end the connection to the other side
-	Close                 // Giver: accept nothing more, and leave the cold endpoints to the taker
-	Reopen                // Giver: accept again, keep connections, and take the cold endpoints back
-	Release               // Giver: hand connections over as they come to rest
-	Drain                 // Giver: end what is open in order, as at any other stop; cold endpoints get nothing more
-	Finish                // Giver: as Drain, but somebody else accepts
-	Cut                   // Giver: end what is still open
-	End                   // the host's process is over
-	Start                 // Taker: start with what was offered
-	Take                  // Taker: take in what came with Go
-	Accept                // Taker: serve
-	Cold                  // Taker: there is nobody to take over from: start alone
-	Fail                  // Taker: the process is over, and has taken nothing
+	Send                Action = iota // the message that Step names
+	Disconnect                        // end the connection to the other side
+	StopAccepting                     // Giver: accept nothing more, and leave the cold endpoints to the taker
+	ResumeServing                     // Giver: accept again, keep connections, and take the cold endpoints back
+	HandOverConnections               // Giver: hand connections over as they come to rest
+	Drain                             // Giver: end what is open in order, as at any other stop; cold endpoints get nothing more
+	DrainForSuccessor                 // Giver: as Drain, but somebody else accepts
+	CloseRemaining                    // Giver: end what is still open
+	Exit                              // the host's process is over
+	StartWithOffer                    // Taker: start with what was offered
+	RestoreState                      // Taker: take in what came with Go
+	StartServing                      // Taker: serve
+	StartAlone                        // Taker: there is nobody to take over from: start alone
+	Fail                              // Taker: the process is over, and has taken nothing
 )
 
-var actions = [...]string{"send", "hang", "close", "reopen", "release", "drain", "finish", "cut", "end", "start", "take", "accept",
+var actionNames = [...]string{"send", "hang", "close", "reopen", "release", "drain", "finish", "cut", "end", "start", "take", "accept",
 	"cold", "fail"}
 
-func (a Action) String() string { return actions[a] }
+func (a Action) String() string { return actionNames[a] }
 
 // Step is one action.
 type Step struct {
@@ -102,267 +102,269 @@
 
 func send(m Event) Step { return Step{Action: Send, Message: m} }
 
-func refuse(reason string) []Step {
-	return []Step{{Action: Send, Message: Refused, Reason: reason}, {Action: Hang}}
+func rejectWith(reason string) []Step {
+	return []Step{{Action: Send, Message: Rejected, Reason: reason}, {Action: Disconnect}}
 }
 
 // ---- The giver -------------------------------------------------------------
 
-type giverState uint8
+type predecessorState uint8
 
 const (
-	serving giverState = iota
-	offered            // to a taker that is starting
-	closed             // nobody accepts
-	releasing
+	serving predecessorState = iota
+	offered                  // to a taker that is starting
+	paused                   // nobody accepts
+	handingOver
 	draining // without a taker, after a stop
-	ended
+	exited
 )
 
-var giverStates = [...]string{"serving", "offered", "closed", "releasing", "draining", "ended"}
+var predecessorStateNames = [...]string{"serving", "offered", "closed", "releasing", "draining", "ended"}
 
 // Giver is the process that serves. The zero value with Times set serves.
-type Giver struct {
+type Predecessor struct {
 	Times Times
 
-	state    giverState
-	stopping bool // told to end: it does not go on serving, whatever comes of the taker
-	passed   bool // the taker has given on to another
-	deadline monotime.Micros
+	state               predecessorState
+	stopping            bool // told to end: it does not go on serving, whatever comes of the taker
+	successorHandedOver bool // the taker has given on to another
+	deadline            monotime.Micros
 }
 
-func (g *Giver) String() string { return giverStates[g.state] }
+func (g *Predecessor) String() string { return predecessorStateNames[g.state] }
 
 // Busy says whether a taker is being served: another is to be turned away.
-func (g *Giver) Busy() bool { return g.state != serving }
+func (g *Predecessor) HandingOver() bool { return g.state != serving }
 
 // Deadline returns the instant at which Wake is due, 0 for none.
-func (g *Giver) Deadline() monotime.Micros { return g.deadline }
+func (g *Predecessor) Deadline() monotime.Micros { return g.deadline }
 
 // Step takes an event in. Events that cannot come in a state change nothing.
-func (g *Giver) Step(now monotime.Micros, e Event) []Step {
-	if e == Wake && (g.deadline == 0 || now < g.deadline) {
+func (g *Predecessor) Step(now monotime.Micros, e Event) []Step {
+	if e == DeadlineReached && (g.deadline == 0 || now < g.deadline) {
 		return nil // an old one
 	}
 	switch g.state {
 	case serving:
 		switch e {
 		case Hello:
-			g.to(offered, now+g.Times.Ready)
+			g.transition(offered, now+g.Times.Ready)
 			return []Step{send(Offer)}
 		case Stop:
 			g.stopping = true
-			g.to(draining, now+g.Times.Drain)
+			g.transition(draining, now+g.Times.Drain)
 			return []Step{{Action: Drain}}
 		}
 	case offered:
 		switch e {
 		case Ready:
-			g.to(closed, now+g.Times.Answer)
-			return []Step{{Action: Close}, send(Go)}
+			g.transition(paused, now+g.Times.Answer)
+			return []Step{{Action: StopAccepting}, send(Handover)}
 		case Stop:
 			// The taker has the sockets, so whoever connects waits for it. It is given the time to start that it had.
 			g.stopping = true
-			g.to(closed, g.deadline)
-			return []Step{{Action: Close}, send(Go)}
-		case Broken, Refused:
-			g.to(serving, 0)
-			return []Step{{Action: Hang}}
-		case Wake:
-			g.to(serving, 0)
-			return refuse("not ready in time")
+			g.transition(paused, g.deadline)
+			return []Step{{Action: StopAccepting}, send(Handover)}
+		case ConnectionLost, Rejected:
+			g.transition(serving, 0)
+			return []Step{{Action: Disconnect}}
+		case DeadlineReached:
+			g.transition(serving, 0)
+			return rejectWith("not ready in time")
 		}
-	case closed:
+	case paused:
 		switch e {
 		case Prepared:
-			g.passed = false
-			g.to(releasing, now+g.Times.Drain)
-			return []Step{send(Yours), {Action: Release}}
+			g.successorHandedOver = false
+			g.transition(handingOver, now+g.Times.Drain)
+			return []Step{send(Activate), {Action: HandOverConnections}}
 		case Stop:
 			g.stopping = true
-		case Broken, Refused:
-			return append([]Step{{Action: Hang}}, g.back(now)...)
-		case Wake:
+		case ConnectionLost, Rejected:
+			return append([]Step{{Action: Disconnect}}, g.resume(now)...)
+		case DeadlineReached:
 			if g.stopping {
 				// The taker has the sockets, and nobody else will have them: without a word it serves once it can.
-				return append([]Step{{Action: Hang}}, g.back(now)...)
+				return append([]Step{{Action: Disconnect}}, g.resume(now)...)
 			}
-			return append(refuse("no answer in time"), g.back(now)...)
+			return append(rejectWith("no answer in time"), g.resume(now)...)
 		}
-	case releasing:
+	case handingOver:
 		switch e {
 		case Drained:
-			g.to(ended, 0)
-			return []Step{send(Done), {Action: Hang}, {Action: End}}
-		case Wake:
-			g.to(ended, 0)
-			return []Step{{Action: Cut}, send(Done), {Action: Hang}, {Action: End}}
+			g.transition(exited, 0)
+			return []Step{send(Done), {Action: Disconnect}, {Action: Exit}}
+		case DeadlineReached:
+			g.transition(exited, 0)
+			return []Step{{Action: CloseRemaining}, send(Done), {Action: Disconnect}, {Action: Exit}}
 		case Stop:
 			g.stopping = true
 		case Stopping:
 			// Nobody is to serve any more. What is open here has the time that it had.
 			g.stopping = true
 			deadline := g.deadline
-			g.to(draining, deadline)
-			return []Step{{Action: Hang}, {Action: Drain}}
-		case Passed:
-			g.passed = true
-		case TookBack:
-			g.passed = false
-		case Broken, Refused:
-			if g.passed {
-				g.to(draining, g.deadline)
-				return []Step{{Action: Hang}, {Action: Finish}}
+			g.transition(draining, deadline)
+			return []Step{{Action: Disconnect}, {Action: Drain}}
+		case HandedOver:
+			g.successorHandedOver = true
+		case Resumed:
+			g.successorHandedOver = false
+		case ConnectionLost, Rejected:
+			if g.successorHandedOver {
+				g.transition(draining, g.deadline)
+				return []Step{{Action: Disconnect}, {Action: DrainForSuccessor}}
 			}
-			return append([]Step{{Action: Hang}}, g.back(now)...)
+			return append([]Step{{Action: Disconnect}}, g.resume(now)...)
 		}
 	case draining:
 		switch e {
 		case Hello:
-			return []Step{{Action: Hang}} // there is nothing to take over: it starts alone
+			return []Step{{Action: Disconnect}} // there is nothing to take over: it starts alone
 		case Drained:
-			g.to(ended, 0)
-			return []Step{{Action: End}}
-		case Wake:
-			g.to(ended, 0)
-			return []Step{{Action: Cut}, {Action: End}}
+			g.transition(exited, 0)
+			return []Step{{Action: Exit}}
+		case DeadlineReached:
+			g.transition(exited, 0)
+			return []Step{{Action: CloseRemaining}, {Action: Exit}}
 		}
 	}
 	return nil
 }
 
 // back is what follows when a taker to which all was left is not there any more.
-func (g *Giver) back(now monotime.Micros) []Step {
+func (g *Predecessor) resume(now monotime.Micros) []Step {
 	if g.stopping {
-		g.to(draining, now+g.Times.Drain)
+		g.transition(draining, now+g.Times.Drain)
 		return []Step{{Action: Drain}}
 	}
-	g.to(serving, 0)
-	return []Step{{Action: Reopen}}
+	g.transition(serving, 0)
+	return []Step{{Action: ResumeServing}}
 }
 
-func (g *Giver) to(s giverState, deadline monotime.Micros) { g.state, g.deadline = s, deadline }
+func (g *Predecessor) transition(s predecessorState, deadline monotime.Micros) {
+	g.state, g.deadline = s, deadline
+}
 
 // ---- The taker -------------------------------------------------------------
 
-type takerState uint8
+type successorState uint8
 
 const (
-	asking takerState = iota
+	requesting successorState = iota
 	starting
-	waiting  // for Go
+	ready    // for Go
 	prepared // waits for Yours, however long: it may be on its way, and the giver may end right behind it
 	accepting
 	alone // there is no giver any more
 	failed
 )
 
-var takerStates = [...]string{"asking", "starting", "waiting", "prepared", "accepting", "alone", "failed"}
+var successorStateNames = [...]string{"asking", "starting", "waiting", "prepared", "accepting", "alone", "failed"}
 
 // Taker is the process that is to serve. The zero value with Times set has not begun: call Begin, or Alone where
 // nobody serves.
-type Taker struct {
+type Successor struct {
 	Times Times
 
 	// Sure says that the taker's sockets are its own, whatever the giver does: it does not end for the giver's sake, but
 	// goes on with what it has been told so far. A giver that hangs may come to and serve beside it for a moment; what cold
 	// endpoints may get is then spent by both, unless the giver was told to stop.
-	Sure bool
+	OwnsSockets bool
 
-	state    takerState
-	gone     bool // Go came before we were ready
-	orphan   bool // the giver ended before we were ready
-	deadline monotime.Micros
+	state            successorState
+	handoverReceived bool // Go came before we were ready
+	predecessorLost  bool // the giver ended before we were ready
+	deadline         monotime.Micros
 }
 
-func (t *Taker) String() string { return takerStates[t.state] }
+func (t *Successor) String() string { return successorStateNames[t.state] }
 
 // Begin returns the first steps, once there is a connection to a giver.
-func (t *Taker) Begin(now monotime.Micros) []Step {
-	t.to(asking, now+t.Times.Answer)
+func (t *Successor) Connected(now monotime.Micros) []Step {
+	t.transition(requesting, now+t.Times.Answer)
 	return []Step{send(Hello)}
 }
 
 // Alone says that there is nobody to take over from.
-func (t *Taker) Alone() { t.to(alone, 0) }
+func (t *Successor) ServeAlone() { t.transition(alone, 0) }
 
 // Deadline returns the instant at which Wake is due, 0 for none.
-func (t *Taker) Deadline() monotime.Micros { return t.deadline }
+func (t *Successor) Deadline() monotime.Micros { return t.deadline }
 
 // Serving says whether the taker accepts.
-func (t *Taker) Serving() bool { return t.state == accepting || t.state == alone }
+func (t *Successor) Serving() bool { return t.state == accepting || t.state == alone }
 
 // Step takes an event in. Events that cannot come in a state change nothing.
-func (t *Taker) Step(now monotime.Micros, e Event, reason string) []Step {
-	if e == Wake && (t.deadline == 0 || now < t.deadline) {
+func (t *Successor) Step(now monotime.Micros, e Event, reason string) []Step {
+	if e == DeadlineReached && (t.deadline == 0 || now < t.deadline) {
 		return nil // an old one
 	}
-	if e == Stop || e == Refused || e == Wake {
+	if e == Stop || e == Rejected || e == DeadlineReached {
 		if t.Serving() || t.state == failed {
 			if e == Stop && t.state == accepting {
 				return []Step{send(Stopping)} // the giver, which still has connections, must not go on without us
 			}
 			return nil
 		}
-		if t.Sure && e != Stop {
-			return t.goOn()
+		if t.OwnsSockets && e != Stop {
+			return t.proceedAlone()
 		}
-		why := map[Event]string{Stop: "told to stop", Refused: "the serving process says no: " + reason,
-			Wake: fmt.Sprintf("no progress in time while %v", t)}[e]
-		t.to(failed, 0)
-		return []Step{{Action: Hang}, {Action: Fail, Reason: why}}
+		why := map[Event]string{Stop: "told to stop", Rejected: "the serving process says no: " + reason,
+			DeadlineReached: fmt.Sprintf("no progress in time while %v", t)}[e]
+		t.transition(failed, 0)
+		return []Step{{Action: Disconnect}, {Action: Fail, Reason: why}}
 	}
 	switch t.state {
-	case asking:
+	case requesting:
 		switch e {
 		case Offer:
-			t.to(starting, now+t.Times.Ready)
-			return []Step{{Action: Start}}
-		case Broken:
-			t.to(alone, 0) // it ended before it gave us anything
-			return []Step{{Action: Hang}, {Action: Cold}}
+			t.transition(starting, now+t.Times.Ready)
+			return []Step{{Action: StartWithOffer}}
+		case ConnectionLost:
+			t.transition(alone, 0) // it ended before it gave us anything
+			return []Step{{Action: Disconnect}, {Action: StartAlone}}
 		}
 	case starting:
 		switch e {
-		case Go:
-			t.gone = true
-		case Broken:
-			t.orphan = true
-			return []Step{{Action: Hang}}
+		case Handover:
+			t.handoverReceived = true
+		case ConnectionLost:
+			t.predecessorLost = true
+			return []Step{{Action: Disconnect}}
 		case Started:
 			switch {
-			case t.orphan:
-				t.to(alone, 0)
-				return []Step{{Action: Accept}}
-			case t.gone:
+			case t.predecessorLost:
+				t.transition(alone, 0)
+				return []Step{{Action: StartServing}}
+			case t.handoverReceived:
 				return t.prepare(now)
 			}
-			t.to(waiting, now+t.Times.Answer)
+			t.transition(ready, now+t.Times.Answer)
 			return []Step{send(Ready)}
 		}
-	case waiting:
+	case ready:
 		switch e {
-		case Go:
+		case Handover:
 			return t.prepare(now)
-		case Broken:
-			t.to(alone, 0)
-			return []Step{{Action: Hang}, {Action: Accept}}
+		case ConnectionLost:
+			t.transition(alone, 0)
+			return []Step{{Action: Disconnect}, {Action: StartServing}}
 		}
 	case prepared:
 		switch e {
-		case Yours:
-			t.to(accepting, 0)
-			return []Step{{Action: Accept}}
-		case Broken:
-			t.to(alone, 0)
-			return []Step{{Action: Hang}, {Action: Accept}}
+		case Activate:
+			t.transition(accepting, 0)
+			return []Step{{Action: StartServing}}
+		case ConnectionLost:
+			t.transition(alone, 0)
+			return []Step{{Action: Disconnect}, {Action: StartServing}}
 		}
 	case accepting:
 		switch e {
-		case Done, Broken:
-			t.to(alone, 0)
-			return []Step{{Action: Hang}}
-		case Passed, TookBack:
+		case Done, ConnectionLost:
+			t.transition(alone, 0)
+			return []Step{{Action: Disconnect}}
+		case HandedOver, Resumed:
 			return []Step{send(e)}
 		}
 	}
@@ -370,31 +372,33 @@
 }
 
 // goOn is what follows where nothing more is to be had of a giver.
-func (t *Taker) goOn() []Step {
+func (t *Successor) proceedAlone() []Step {
 	was := t.state
 	switch was {
-	case asking:
-		t.to(alone, 0)
-		return []Step{{Action: Hang}, {Action: Cold}}
+	case requesting:
+		t.transition(alone, 0)
+		return []Step{{Action: Disconnect}, {Action: StartAlone}}
 	case starting:
-		t.orphan = true
-		t.to(starting, 0)
-		return []Step{{Action: Hang}}
+		t.predecessorLost = true
+		t.transition(starting, 0)
+		return []Step{{Action: Disconnect}}
 	}
-	t.to(alone, 0)
-	return []Step{{Action: Hang}, {Action: Accept}}
+	t.transition(alone, 0)
+	return []Step{{Action: Disconnect}, {Action: StartServing}}
 }
 
 // prepare waits for Yours. Who is not sure waits however long: only Yours or the giver's end make it accept.
-func (t *Taker) prepare(now monotime.Micros) []Step {
-	t.to(prepared, 0)
-	if t.Sure {
-		t.to(prepared, now+t.Times.Answer)
+func (t *Successor) prepare(now monotime.Micros) []Step {
+	t.transition(prepared, 0)
+	if t.OwnsSockets {
+		t.transition(prepared, now+t.Times.Answer)
 	}
-	return []Step{{Action: Take}, send(Prepared)}
+	return []Step{{Action: RestoreState}, send(Prepared)}
 }
 
 // Given says whether the giver may still hand connections over.
-func (t *Taker) Given() bool { return t.state == accepting }
+func (t *Successor) ReceivesConnections() bool { return t.state == accepting }
 
-func (t *Taker) to(s takerState, deadline monotime.Micros) { t.state, t.deadline = s, deadline }
+func (t *Successor) transition(s successorState, deadline monotime.Micros) {
+	t.state, t.deadline = s, deadline
+}
--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -30,8 +30,8 @@
 
 // state is all there is at an instant.
 type state struct {
-	giver    Giver
-	taker    Taker
+	giver    Predecessor
+	taker    Successor
 	g, t     side
 	toG, toT wire
 	started  bool // the taker's host could serve
@@ -63,15 +63,15 @@
 			if !s.g.hung {
 				s.toT.messages = append(s.toT.messages, x.Message)
 			}
-		case Hang:
+		case Disconnect:
 			s.g.hung, s.toT.ended = true, true
-		case Close:
+		case StopAccepting:
 			s.g.accept, s.g.cold = false, false
-		case Reopen:
+		case ResumeServing:
 			s.g.accept, s.g.cold = true, true
-		case Drain, Finish:
+		case Drain, DrainForSuccessor:
 			s.g.accept, s.g.cold = false, false
-		case End:
+		case Exit:
 			s.g.over, s.g.alive, s.g.accept, s.g.cold = true, false, false, false
 			s.g.hung, s.toT.ended = true, true
 		}
@@ -85,11 +85,11 @@
 			if !s.t.hung {
 				s.toG.messages = append(s.toG.messages, x.Message)
 			}
-		case Hang:
+		case Disconnect:
 			s.t.hung, s.toG.ended = true, true
-		case Take:
+		case RestoreState:
 			s.taken = true
-		case Accept, Cold:
+		case StartServing, StartAlone:
 			s.t.accept, s.t.cold = true, true
 		case Fail:
 			s.t.over, s.t.alive = true, false
@@ -115,15 +115,15 @@
 				n.giverSteps(n.giver.Step(0, e))
 			})
 		} else if s.toG.ended && !s.g.hung {
-			add("g<broken", func(n *state) { n.giverSteps(n.giver.Step(0, Broken)) })
+			add("g<broken", func(n *state) { n.giverSteps(n.giver.Step(0, ConnectionLost)) })
 		}
 		if d := s.giver.Deadline(); d != 0 {
-			add("g:wake", func(n *state) { n.late = true; n.giverSteps(n.giver.Step(d, Wake)) })
+			add("g:wake", func(n *state) { n.late = true; n.giverSteps(n.giver.Step(d, DeadlineReached)) })
 		}
 		if !s.g.stop {
 			add("g:stop", func(n *state) { n.g.stop = true; n.giverSteps(n.giver.Step(0, Stop)) })
 		}
-		if s.giver.state == releasing || s.giver.state == draining {
+		if s.giver.state == handingOver || s.giver.state == draining {
 			add("g:drained", func(n *state) { n.giverSteps(n.giver.Step(0, Drained)) })
 		}
 		add("g:killed", func(n *state) {
@@ -139,13 +139,13 @@
 				n.takerSteps(n.taker.Step(0, e, ""))
 			})
 		} else if s.toT.ended && !s.t.hung {
-			add("t<broken", func(n *state) { n.takerSteps(n.taker.Step(0, Broken, "")) })
+			add("t<broken", func(n *state) { n.takerSteps(n.taker.Step(0, ConnectionLost, "")) })
 		}
 		if s.taker.state == starting && !s.started {
 			add("t:started", func(n *state) { n.started = true; n.takerSteps(n.taker.Step(0, Started, "")) })
 		}
 		if d := s.taker.Deadline(); d != 0 {
-			add("t:wake", func(n *state) { n.late = true; n.takerSteps(n.taker.Step(d, Wake, "")) })
+			add("t:wake", func(n *state) { n.late = true; n.takerSteps(n.taker.Step(d, DeadlineReached, "")) })
 		}
 		if !s.t.stop {
 			add("t:stop", func(n *state) {
@@ -156,13 +156,13 @@
 		}
 		if s.t.accept && !s.t.stop && !s.lost {
 			add("t:gives-on", func(n *state) {
-				n.takerSteps(n.taker.Step(0, Passed, ""))
+				n.takerSteps(n.taker.Step(0, HandedOver, ""))
 				n.t.accept, n.t.cold, n.third = false, false, true
 			})
 		}
 		if s.third {
 			add("t:takes-back", func(n *state) {
-				n.takerSteps(n.taker.Step(0, TookBack, ""))
+				n.takerSteps(n.taker.Step(0, Resumed, ""))
 				n.t.accept, n.t.cold, n.third, n.lost = !n.t.stop, !n.t.stop, false, true
 			})
 			add("t:ends", func(n *state) {
@@ -180,9 +180,9 @@
 // Whatever is killed, stopped, late or lost, at whatever moment: never do two accept at once or spend what cold
 // endpoints may get, and unless both are gone or somebody was told to stop, one serves in the end.
 func TestEveryInterleaving(t *testing.T) {
-	first := state{giver: Giver{Times: times}, taker: Taker{Times: times}, g: side{alive: true, accept: true, cold: true},
+	first := state{giver: Predecessor{Times: times}, taker: Successor{Times: times}, g: side{alive: true, accept: true, cold: true},
 		t: side{alive: true}}
-	first.takerSteps(first.taker.Begin(0))
+	first.takerSteps(first.taker.Connected(0))
 	seen := map[string]bool{first.key(): true}
 	queue := []state{first}
 	ends, handed, passed := 0, 0, 0
@@ -228,7 +228,7 @@
 		if !quiet {
 			continue
 		}
-		if s.g.alive && s.giver.Busy() {
+		if s.g.alive && s.giver.HandingOver() {
 			t.Fatalf("the giver is stuck while %v after:%s", &s.giver, s.path)
 		}
 		if s.t.alive && !s.t.accept && !s.t.stop && !s.third {
@@ -253,7 +253,7 @@
 
 // The usual way, step by step.
 func TestUsualWay(t *testing.T) {
-	g, k := Giver{Times: times}, Taker{Times: times}
+	g, k := Predecessor{Times: times}, Successor{Times: times}
 	log := func(steps []Step) string {
 		var b strings.Builder
 		for _, s := range steps {
@@ -269,14 +269,14 @@
 		got  []Step
 		want string
 	}{
-		{k.Begin(0), "send hello"},
+		{k.Connected(0), "send hello"},
 		{g.Step(0, Hello), "send offer"},
 		{k.Step(1, Offer, ""), "start"},
 		{k.Step(4, Started, ""), "send ready"},
 		{g.Step(4, Ready), "close send go"},
-		{k.Step(5, Go, ""), "take send prepared"},
+		{k.Step(5, Handover, ""), "take send prepared"},
 		{g.Step(5, Prepared), "send yours release"},
-		{k.Step(5, Yours, ""), "accept"},
+		{k.Step(5, Activate, ""), "accept"},
 		{g.Step(7, Drained), "send done hang end"},
 		{k.Step(7, Done, ""), "hang"},
 	} {
@@ -291,7 +291,7 @@
 
 // A taker that is told to stop while connections are still handed to it says so: the giver must not serve on.
 func TestStopWhileConnectionsAreHandedOver(t *testing.T) {
-	g, k := Giver{Times: times, state: releasing, deadline: 9}, Taker{Times: times, state: accepting}
+	g, k := Predecessor{Times: times, state: handingOver, deadline: 9}, Successor{Times: times, state: accepting}
 	steps := k.Step(1, Stop, "")
 	if len(steps) != 1 || steps[0].Message != Stopping {
 		t.Fatalf("the taker: %+v", steps)
@@ -300,23 +300,23 @@
 	if len(steps) != 2 || steps[1].Action != Drain || g.Deadline() != 9 {
 		t.Errorf("the giver: %+v until %d", steps, g.Deadline())
 	}
-	if steps = g.Step(2, Broken); steps != nil {
+	if steps = g.Step(2, ConnectionLost); steps != nil {
 		t.Errorf("then: %+v", steps)
 	}
 }
 
 // A taker that hangs is let go at its deadline and not before, and told so.
 func TestTakerThatHangs(t *testing.T) {
-	g := Giver{Times: times}
+	g := Predecessor{Times: times}
 	g.Step(0, Hello)
-	if !g.Busy() || g.Deadline() != 10 {
+	if !g.HandingOver() || g.Deadline() != 10 {
 		t.Fatalf("%v until %d", &g, g.Deadline())
 	}
-	if steps := g.Step(9, Wake); steps != nil {
+	if steps := g.Step(9, DeadlineReached); steps != nil {
 		t.Errorf("before the time: %v", steps)
 	}
-	steps := g.Step(10, Wake)
-	if len(steps) != 2 || steps[0].Message != Refused || steps[0].Reason == "" || g.Busy() {
+	steps := g.Step(10, DeadlineReached)
+	if len(steps) != 2 || steps[0].Message != Rejected || steps[0].Reason == "" || g.HandingOver() {
 		t.Errorf("at the time: %+v, then %v", steps, &g)
 	}
 	// The next one finds it as before.
@@ -328,20 +328,20 @@
 // A taker that is sure of its sockets serves in time whatever the giver does, and ends for nobody but who stops it.
 func TestSureTakerServesInTime(t *testing.T) {
 	times := Times{Ready: 2_000_000, Answer: 1_000_000, Drain: 30_000_000}
-	from := []Event{Offer, Go, Yours, Done, Refused, Broken, Hello, Prepared}
+	from := []Event{Offer, Handover, Activate, Done, Rejected, ConnectionLost, Hello, Prepared}
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		tk := Taker{Times: times, Sure: true}
+		tk := Successor{Times: times, OwnsSockets: true}
 		started, hung := false, false
 		served := 0
 		do := func(steps []Step) {
 			for _, s := range steps {
 				switch s.Action {
-				case Start:
+				case StartWithOffer:
 					started = true
-				case Hang:
+				case Disconnect:
 					hung = true
-				case Accept, Cold:
+				case StartServing, StartAlone:
 					served++
 				case Fail:
 					t.Fatalf("seed %d: failed: %s", seed, s.Reason)
@@ -354,12 +354,12 @@
 		}
 		now := monotime.Micros(rng.IntN(1000))
 		began := now
-		do(tk.Begin(now))
+		do(tk.Connected(now))
 		for !tk.Serving() && now-began < 6_000_000 {
 			now += monotime.Micros(rng.IntN(300_000))
 			switch {
 			case tk.Deadline() != 0 && now >= tk.Deadline():
-				do(tk.Step(now, Wake, ""))
+				do(tk.Step(now, DeadlineReached, ""))
 			case started && rng.IntN(4) == 0:
 				do(tk.Step(now, Started, ""))
 			case !hung && rng.IntN(3) == 0:
@@ -370,8 +370,8 @@
 			t.Fatalf("seed %d: %v after %d ms, served %d times", seed, &tk, (now-began)/1000, served)
 		}
 	}
-	stopped := Taker{Times: times, Sure: true}
-	stopped.Begin(0)
+	stopped := Successor{Times: times, OwnsSockets: true}
+	stopped.Connected(0)
 	if steps := stopped.Step(1, Stop, ""); len(steps) == 0 || steps[len(steps)-1].Action != Fail {
 		t.Errorf("told to stop before it began: %v", steps)
 	}
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -50,12 +50,12 @@
 	ln   net.Listener
 	loop *takeover.Loop
 
-	taker decide.Taker
+	taker decide.Successor
 	from  *takeover.Conn // the giver; nil once there is none
 	state []byte         // what came with Offer, then with Go; or, when we give, what is to go with Go
 	taken []net.Conn     // connections handed over before we accept
 
-	giver   decide.Giver
+	giver   decide.Predecessor
 	takeLn  *takeover.Listener
 	to      *takeover.Conn // the taker; nil while there is none
 	accepts chan error     // of the front, while it accepts
@@ -73,14 +73,14 @@
 func newCourse(s *sidecar, ln net.Listener) *course {
 	times := decide.Times{Ready: clock.Micros(readyTime), Answer: clock.Micros(answerTime), Drain: clock.Micros(drainTime)}
 	return &course{s: s, ln: ln,
-		taker: decide.Taker{Times: times, Sure: true}, giver: decide.Giver{Times: times}}
+		taker: decide.Successor{Times: times, OwnsSockets: true}, giver: decide.Predecessor{Times: times}}
 }
 
 // run takes over or starts cold, serves, and ends.
 func (l *course) run(stop context.Context) error {
 	l.loop = takeover.NewLoop(func() {
-		l.takerStep(decide.Wake, "")
-		l.giverStep(decide.Wake)
+		l.takerStep(decide.DeadlineReached, "")
+		l.giverStep(decide.DeadlineReached)
 	})
 	defer l.finish()
 	l.begin()
@@ -108,7 +108,7 @@
 }
 
 func (l *course) finish() {
-	l.loop.End()
+	l.loop.Close()
 	if l.waiting != nil {
 		l.waiting()
 	}
@@ -125,7 +125,7 @@
 		nc.Close()
 	}
 	l.s.front.Cut() // nothing is left, unless the start failed
-	l.loop.Beside.Wait()
+	l.loop.Goroutines.Wait()
 }
 
 // longest is the longest time that a client waits.
@@ -172,14 +172,14 @@
 			l.s.log.Info("taking over")
 			l.from = c
 			l.loop.Read(c, l.fromGiver)
-			l.takerSteps(l.taker.Begin(now()))
+			l.takerSteps(l.taker.Connected(now()))
 			return
 		}
 		if !errors.Is(err, syscall.ENOENT) && !errors.Is(err, syscall.ECONNREFUSED) {
 			l.s.log.Warn("nobody to take over from is to be reached", "error", err)
 		}
 	}
-	l.taker.Alone()
+	l.taker.ServeAlone()
 	l.cold()
 }
 
@@ -198,18 +198,18 @@
 		return
 	}
 	switch m.Kind {
-	case takeover.Handed:
+	case takeover.ConnectionHandedOver:
 		l.adopt(m)
 		return
-	case takeover.Words:
-		l.hear(m.Text)
+	case takeover.Cordons:
+		l.hear(m.Payload)
 		return
-	case decide.Offer, decide.Go:
-		l.state = m.Text
+	case decide.Offer, decide.Handover:
+		l.state = m.Payload
 	}
 	m.CloseFiles()
-	l.takerStep(m.Kind, string(m.Text))
-	if l.emptied && !l.taker.Given() {
+	l.takerStep(m.Kind, string(m.Payload))
+	if l.emptied && !l.taker.ReceivesConnections() {
 		l.emptied = false
 		l.drained()
 	}
@@ -223,25 +223,25 @@
 	for _, s := range steps {
 		switch s.Action {
 		case decide.Send:
-			m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+			m := takeover.Message{Kind: s.Message, Payload: []byte(s.Reason)}
 			if s.Message == decide.Hello {
-				m = takeover.Greeting()
+				m = takeover.HelloMessage()
 			}
 			l.from.Write(m) // a failure shows as the connection's end
-		case decide.Hang:
-			if !l.taker.Serving() || l.taker.Given() {
+		case decide.Disconnect:
+			if !l.taker.Serving() || l.taker.ReceivesConnections() {
 				l.s.log.Warn("the process before is not heard any more", "while", l.taker.String())
 			}
 			l.hush(l.from)
 			l.from.Close()
 			l.from = nil
-		case decide.Start:
+		case decide.StartWithOffer:
 			l.startWith()
-		case decide.Take:
+		case decide.RestoreState:
 			l.restore("at the handover")
-		case decide.Accept:
+		case decide.StartServing:
 			l.serve()
-		case decide.Cold:
+		case decide.StartAlone:
 			l.cold()
 		case decide.Fail:
 			l.end(nil) // told to stop before it began
@@ -254,7 +254,7 @@
 	s := l.s
 	if from, err := takeover.DecodeState(l.state); err == nil {
 		// The watch goes on where the giver's stands: a whole list might be older than what it has told.
-		if p := from.Core.Pool(""); p != nil && p.Source == s.config.Discovery {
+		if p := from.Snapshot.Pool(""); p != nil && p.Source == s.config.Discovery {
 			s.watcher1.StartAfter(p.Generation)
 		}
 	}
@@ -264,7 +264,7 @@
 	l.speak(l.from)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
-	l.loop.Beside.Go(func() {
+	l.loop.Goroutines.Go(func() {
 		if s.core.WaitReady(ctx) == nil {
 			l.loop.Post(func() { l.takerStep(decide.Started, "") })
 		}
@@ -278,7 +278,7 @@
 		l.s.log.Warn("beginning with less", "when", when, "error", err)
 		return
 	}
-	passed := l.s.core.Restore(from.Core, max(0, now()-from.Taken))
+	passed := l.s.core.Restore(from.Snapshot, max(0, now()-from.TakenAt))
 	l.s.log.Info("what the other process learned is taken over", "when", when, "passed over", passed)
 }
 
@@ -311,7 +311,7 @@
 			l.s.log.Error("no process will be able to take over from this one", "error", err)
 		} else {
 			ln := l.takeLn
-			l.loop.Beside.Go(func() { l.meetAll(ln) })
+			l.loop.Goroutines.Go(func() { l.meetAll(ln) })
 		}
 	}
 	l.s.log.Info("serving", "name", l.s.config.Name, "listen", l.ln.Addr().String())
@@ -322,7 +322,7 @@
 	accepts := l.accepts
 	l.setDeadline(time.Time{})
 	l.s.accepting.Store(true)
-	l.loop.Beside.Go(func() { accepts <- l.s.front.Accept(l.ln, l.s.identify) })
+	l.loop.Goroutines.Go(func() { accepts <- l.s.front.Accept(l.ln, l.s.identify) })
 }
 
 // pause ends accept. Who connects from then on waits in the socket's queue.
@@ -350,7 +350,7 @@
 		if err != nil {
 			return
 		}
-		l.loop.Beside.Go(func() {
+		l.loop.Goroutines.Go(func() {
 			m, err := c.ReadWithin(answerTime)
 			m.CloseFiles()
 			if err != nil || !l.loop.Post(func() { l.meet(c, m) }) {
@@ -362,13 +362,13 @@
 
 // meet begins with a taker, if there is none yet.
 func (l *course) meet(c *takeover.Conn, m takeover.Message) {
-	why := takeover.Unwelcome(m)
+	why := takeover.HelloProblem(m)
 	if why == "" && l.to != nil {
 		why = "another takeover is under way"
 	}
 	if why != "" {
 		l.s.log.Warn("a process that wants to take over is turned away", "reason", why)
-		c.Refuse(why)
+		c.Reject(why)
 		return
 	}
 	l.to = c
@@ -382,11 +382,11 @@
 		return
 	}
 	switch m.Kind {
-	case takeover.Words:
-		l.hear(m.Text)
+	case takeover.Cordons:
+		l.hear(m.Payload)
 		return
-	case decide.Refused, decide.Broken:
-		l.s.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Text))
+	case decide.Rejected, decide.ConnectionLost:
+		l.s.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Payload))
 	}
 	l.giverStep(m.Kind)
 }
@@ -396,18 +396,18 @@
 		switch s.Action {
 		case decide.Send:
 			l.tell(s)
-		case decide.Hang:
+		case decide.Disconnect:
 			if l.to != nil {
 				l.hush(l.to)
 				l.to.Close()
 				l.to = nil
 			}
-		case decide.Close:
+		case decide.StopAccepting:
 			l.pause()
 			l.state = l.encode(l.s.core.SnapshotForHandover())
-		case decide.Reopen:
+		case decide.ResumeServing:
 			l.s.log.Info("serving on, as before")
-			l.takerStep(decide.TookBack, "")
+			l.takerStep(decide.Resumed, "")
 			l.emptied = false
 			l.s.front.Release(nil)
 			l.s.core.CancelHandover()
@@ -416,10 +416,10 @@
 				l.waiting()
 			}
 			l.accept()
-		case decide.Release:
+		case decide.HandOverConnections:
 			to := l.to
 			l.s.pool.Idle(false) // the descriptors are the taker's now
-			l.s.front.Release(func(nc net.Conn) bool { return to.Hand(nc) == nil })
+			l.s.front.Release(func(nc net.Conn) bool { return to.HandOver(nc) == nil })
 			l.loop.After(settleTime, func() {
 				if l.to == to { // else it is served again, or ends otherwise
 					l.drained()
@@ -427,15 +427,15 @@
 			})
 		case decide.Drain:
 			l.drain()
-		case decide.Finish:
+		case decide.DrainForSuccessor:
 			l.s.log.Info("ending, another process serves")
 			l.s.front.Release(nil)
 			l.s.front.Quiesce()
 			l.drained()
-		case decide.Cut:
+		case decide.CloseRemaining:
 			l.s.log.Warn("what is still open is ended", "after", drainTime)
 			l.s.front.Cut()
-		case decide.End:
+		case decide.Exit:
 			l.end(nil)
 		}
 	}
@@ -445,20 +445,20 @@
 	if l.to == nil {
 		return
 	}
-	m := takeover.Message{Kind: s.Message, Text: []byte(s.Reason)}
+	m := takeover.Message{Kind: s.Message, Payload: []byte(s.Reason)}
 	switch s.Message {
 	case decide.Offer:
 		l.s.log.Info("another wants to take over")
-		m.Text = l.encode(l.s.core.Snapshot())
+		m.Payload = l.encode(l.s.core.Snapshot())
 		l.speak(l.to)
-	case decide.Go:
-		m.Text, l.state = l.state, nil
-	case decide.Yours:
-		l.takerStep(decide.Passed, "") // before the other side accepts
+	case decide.Handover:
+		m.Payload, l.state = l.state, nil
+	case decide.Activate:
+		l.takerStep(decide.HandedOver, "") // before the other side accepts
 		l.s.log.Info("handed over", "waiting for", "open requests and connections")
 	}
 	if err := l.to.Write(m); err != nil {
-		l.loop.Broke(l.to, err, l.fromTaker)
+		l.loop.PostConnectionLost(l.to, err, l.fromTaker)
 	}
 }
 
@@ -492,10 +492,10 @@
 func (l *course) drained() {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.waiting = cancel
-	l.loop.Beside.Go(func() {
+	l.loop.Goroutines.Go(func() {
 		if l.s.front.Wait(ctx) == nil {
 			l.loop.Post(func() {
-				if l.emptied = l.taker.Given(); !l.emptied {
+				if l.emptied = l.taker.ReceivesConnections(); !l.emptied {
 					l.giverStep(decide.Drained)
 				}
 			})
@@ -505,7 +505,7 @@
 
 // encode returns the form of what we know, nothing where it has none: the taker then begins with less.
 func (l *course) encode(s *engine.Snapshot) []byte {
-	state := takeover.State{Taken: now(), Core: s}
+	state := takeover.State{TakenAt: now(), Snapshot: s}
 	text, err := state.Encode()
 	if err != nil {
 		l.s.log.Error("what was learned cannot be handed over", "error", err)
@@ -542,7 +542,7 @@
 	for _, c := range to {
 		text, err := json.Marshal([]cordon.Word{w})
 		if err == nil {
-			c.Write(takeover.Message{Kind: takeover.Words, Text: text}) // a failure shows as the connection's end
+			c.Write(takeover.Message{Kind: takeover.Cordons, Payload: text}) // a failure shows as the connection's end
 		}
 	}
 }
--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -17,31 +17,31 @@
 
 // Message is one message. Which fields it has depends on its kind.
 type Message struct {
-	Kind  decide.Event
-	Text  []byte         // Hello: the version; Offer: what is offered; Refused: the reason
-	Socks []syscall.Conn // to write. Offer: the listening sockets; Handed: one connection
-	Files []*os.File     // as read
+	Kind    decide.Event
+	Payload []byte         // Hello: the version; Offer: what is offered; Refused: the reason
+	Sockets []syscall.Conn // to write. Offer: the listening sockets; Handed: one connection
+	Files   []*os.File     // as read
 }
 
 // Handed is a connection at rest, from giver to taker. Chunk is a part of what the next message says. Words are what was
 // said by hand of endpoints, from either side.
 const (
-	Handed decide.Event = 100 + iota
+	ConnectionHandedOver decide.Event = 100 + iota
 	chunk
-	Words
+	Cordons
 )
 
 const (
-	chunkMost = 32 << 10
-	textMost  = 64 << 20 // of one message in all its chunks
-	filesMost = 250      // with one message; the kernel takes 253 (SCM_MAX_FD)
-	writeTime = 2 * time.Second
+	maxChunk     = 32 << 10
+	maxPayload   = 64 << 20 // of one message in all its chunks
+	maxFiles     = 250      // with one message; the kernel takes 253 (SCM_MAX_FD)
+	writeTimeout = 2 * time.Second
 )
 
 // Conn is a connection to the other side. Many goroutines may write, and one read.
 type Conn struct {
-	c  *net.UnixConn
-	mu sync.Mutex // one message is written at a time
+	socket  *net.UnixConn
+	writing sync.Mutex // one message is written at a time
 }
 
 // Dial connects to the giver that listens at a path. An error that wraps syscall.ENOENT or syscall.ECONNREFUSED
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{c: c}, nil
+	return &Conn{socket: c}, nil
 }
 
 // Pair returns both ends of a connection between a giver and a taker in one process.
@@ -73,13 +73,13 @@
 			}
 			return nil, nil, err
 		}
-		ends[i] = &Conn{c: c.(*net.UnixConn)}
+		ends[i] = &Conn{socket: c.(*net.UnixConn)}
 	}
 	return ends[0], ends[1], nil
 }
 
 // Listener accepts takers.
-type Listener struct{ ln *net.UnixListener }
+type Listener struct{ socket *net.UnixListener }
 
 // Listen listens for takers at a path. A socket that is left there by a process that has gone is replaced. Only
 // the user that the process runs as may connect.
@@ -157,18 +157,18 @@
 }
 
 // Path returns where the listener listens.
-func (l *Listener) Path() string { return l.ln.Addr().String() }
+func (l *Listener) Path() string { return l.socket.Addr().String() }
 
 // Sock returns the listening socket, to be passed on.
-func (l *Listener) Sock() syscall.Conn { return l.ln }
+func (l *Listener) Socket() syscall.Conn { return l.socket }
 
 // Keep says whether the socket's path stays when it is closed: another process may listen on it.
-func (l *Listener) Keep(yes bool) { l.ln.SetUnlinkOnClose(!yes) }
+func (l *Listener) KeepPath(yes bool) { l.socket.SetUnlinkOnClose(!yes) }
 
 // Pause makes Accept return os.ErrDeadlineExceeded, or ends that. Whoever connects meanwhile waits.
-func (l *Listener) Pause(yes bool) { l.ln.SetDeadline(pauseAt(yes)) }
+func (l *Listener) Pause(yes bool) { l.socket.SetDeadline(pauseDeadline(yes)) }
 
-func pauseAt(yes bool) time.Time {
+func pauseDeadline(yes bool) time.Time {
 	if yes {
 		return time.Unix(1, 0)
 	}
@@ -177,39 +177,39 @@
 
 // Accept waits for a taker.
 func (l *Listener) Accept() (*Conn, error) {
-	c, err := l.ln.AcceptUnix()
+	c, err := l.socket.AcceptUnix()
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{c: c}, nil
+	return &Conn{socket: c}, nil
 }
 
 // Close ends the listener.
-func (l *Listener) Close() error { return l.ln.Close() }
+func (l *Listener) Close() error { return l.socket.Close() }
 
 // Close ends the connection.
-func (c *Conn) Close() error { return c.c.Close() }
+func (c *Conn) Close() error { return c.socket.Close() }
 
 // Write sends a message. Its sockets stay open here.
 func (c *Conn) Write(m Message) error {
-	if len(m.Socks) > filesMost {
-		return fmt.Errorf("%d open files are too many for one message", len(m.Socks))
+	if len(m.Sockets) > maxFiles {
+		return fmt.Errorf("%d open files are too many for one message", len(m.Sockets))
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.c.SetWriteDeadline(time.Now().Add(writeTime))
-	for len(m.Text) > chunkMost {
-		if err := c.write(chunk, m.Text[:chunkMost], nil); err != nil {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	for len(m.Payload) > maxChunk {
+		if err := c.writePacket(chunk, m.Payload[:maxChunk], nil); err != nil {
 			return err
 		}
-		m.Text = m.Text[chunkMost:]
+		m.Payload = m.Payload[maxChunk:]
 	}
-	return withFDs(m.Socks, nil, func(fds []int) error { return c.write(m.Kind, m.Text, fds) })
+	return withDescriptors(m.Sockets, nil, func(fds []int) error { return c.writePacket(m.Kind, m.Payload, fds) })
 }
 
 // withFDs calls f with the sockets' descriptors, which stay open meanwhile. net.Conn.File would make them
 // blocking, here and in the other process alike, as soon as their number was asked for.
-func withFDs(socks []syscall.Conn, fds []int, f func([]int) error) error {
+func withDescriptors(socks []syscall.Conn, fds []int, f func([]int) error) error {
 	if len(socks) == 0 {
 		return f(fds)
 	}
@@ -217,25 +217,25 @@
 	if err != nil {
 		return err
 	}
-	if broken := raw.Control(func(fd uintptr) { err = withFDs(socks[1:], append(fds, int(fd)), f) }); broken != nil {
+	if broken := raw.Control(func(fd uintptr) { err = withDescriptors(socks[1:], append(fds, int(fd)), f) }); broken != nil {
 		return broken
 	}
 	return err
 }
 
-func (c *Conn) write(kind decide.Event, text []byte, fds []int) error {
+func (c *Conn) writePacket(kind decide.Event, text []byte, fds []int) error {
 	var rights []byte
 	if len(fds) > 0 {
 		rights = syscall.UnixRights(fds...)
 	}
-	_, _, err := c.c.WriteMsgUnix(append([]byte{byte(kind)}, text...), rights, nil)
+	_, _, err := c.socket.WriteMsgUnix(append([]byte{byte(kind)}, text...), rights, nil)
 	return err
 }
 
 // ReadWithin waits for a message for so long.
 func (c *Conn) ReadWithin(d time.Duration) (Message, error) {
-	c.c.SetReadDeadline(time.Now().Add(d))
-	defer c.c.SetReadDeadline(time.Time{})
+	c.socket.SetReadDeadline(time.Now().Add(d))
+	defer c.socket.SetReadDeadline(time.Time{})
 	return c.Read()
 }
 
@@ -243,29 +243,29 @@
 // connection's end.
 func (c *Conn) Read() (Message, error) {
 	var m Message
-	buf := make([]byte, 1+chunkMost)
-	oob := make([]byte, syscall.CmsgSpace(4*filesMost))
+	buf := make([]byte, 1+maxChunk)
+	oob := make([]byte, syscall.CmsgSpace(4*maxFiles))
 	for {
-		n, oobn, flags, _, err := c.c.ReadMsgUnix(buf, oob)
+		n, oobn, flags, _, err := c.socket.ReadMsgUnix(buf, oob)
 		if err != nil {
 			return m, err
 		}
-		files, err := received(oob[:oobn])
+		files, err := receivedFiles(oob[:oobn])
 		m.Files = append(m.Files, files...)
 		switch {
 		case err != nil:
 		case flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) != 0:
 			err = errors.New("a message was cut off")
 		case n == 0:
-			err = errEnded
-		case len(m.Text)+n > textMost:
+			err = errConnectionClosed
+		case len(m.Payload)+n > maxPayload:
 			err = errors.New("a message is too large")
 		}
 		if err != nil {
 			m.CloseFiles()
 			return Message{}, err
 		}
-		m.Text = append(m.Text, buf[1:n]...)
+		m.Payload = append(m.Payload, buf[1:n]...)
 		if kind := decide.Event(buf[0]); kind != chunk {
 			m.Kind = kind
 			return m, nil
@@ -273,7 +273,7 @@
 	}
 }
 
-var errEnded = errors.New("the other side has ended the connection")
+var errConnectionClosed = errors.New("the other side has ended the connection")
 
 // CloseFiles closes the message's files.
 func (m *Message) CloseFiles() {
@@ -284,7 +284,7 @@
 }
 
 // received returns the files that came with a message.
-func received(oob []byte) ([]*os.File, error) {
+func receivedFiles(oob []byte) ([]*os.File, error) {
 	var files []*os.File
 	messages, err := syscall.ParseSocketControlMessage(oob)
 	if err != nil {
@@ -304,10 +304,10 @@
 }
 
 // Hand passes a connection at rest on. Our own end stays open: the caller closes it.
-func (c *Conn) Hand(nc net.Conn) error {
+func (c *Conn) HandOver(nc net.Conn) error {
 	sock, ok := nc.(syscall.Conn)
 	if !ok {
 		return errors.New("no socket")
 	}
-	return c.Write(Message{Kind: Handed, Socks: []syscall.Conn{sock}})
+	return c.Write(Message{Kind: ConnectionHandedOver, Sockets: []syscall.Conn{sock}})
 }
--- a/internal/takeover/golden_test.go
+++ b/internal/takeover/golden_test.go
@@ -29,7 +29,7 @@
 		t.Fatal(err)
 	}
 	if !bytes.Equal(encoded, golden) {
-		t.Errorf("encoded again:\n%s\nwant:\n%s", encoded[headSize:], golden[headSize:])
+		t.Errorf("encoded again:\n%s\nwant:\n%s", encoded[headerSize:], golden[headerSize:])
 	}
 }
 
@@ -47,20 +47,20 @@
 		}
 	}
 	messages := map[string]Message{
-		"hello":     Greeting(),
-		"offer":     {Kind: decide.Offer, Text: []byte("what is offered")},
+		"hello":     HelloMessage(),
+		"offer":     {Kind: decide.Offer, Payload: []byte("what is offered")},
 		"ready":     {Kind: decide.Ready},
-		"go":        {Kind: decide.Go, Text: []byte("state")},
+		"go":        {Kind: decide.Handover, Payload: []byte("state")},
 		"prepared":  {Kind: decide.Prepared},
-		"yours":     {Kind: decide.Yours},
+		"yours":     {Kind: decide.Activate},
 		"done":      {Kind: decide.Done},
 		"stopping":  {Kind: decide.Stopping},
-		"refused":   {Kind: decide.Refused, Text: []byte("not ready in time")},
-		"passed":    {Kind: decide.Passed},
-		"took-back": {Kind: decide.TookBack},
-		"handed":    {Kind: Handed},
-		"chunk":     {Kind: chunk, Text: []byte("part")},
-		"words":     {Kind: Words, Text: []byte(`[{"Name":"s-0","Out":true,"At":1}]`)},
+		"refused":   {Kind: decide.Rejected, Payload: []byte("not ready in time")},
+		"passed":    {Kind: decide.HandedOver},
+		"took-back": {Kind: decide.Resumed},
+		"handed":    {Kind: ConnectionHandedOver},
+		"chunk":     {Kind: chunk, Payload: []byte("part")},
+		"words":     {Kind: Cordons, Payload: []byte(`[{"Name":"s-0","Out":true,"At":1}]`)},
 	}
 	if len(golden) != len(messages) {
 		t.Errorf("%d golden messages, %d here", len(golden), len(messages))
@@ -78,7 +78,7 @@
 			if got := readPacket(t, receiver); !bytes.Equal(got, packet) {
 				t.Errorf("written as %x, want %x", got, packet)
 			}
-			if _, err := sender.c.Write(packet); err != nil {
+			if _, err := sender.socket.Write(packet); err != nil {
 				t.Fatal(err)
 			}
 			want := m
@@ -92,8 +92,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if got.Kind != want.Kind || !bytes.Equal(got.Text, want.Text) || len(got.Files) != 0 {
-				t.Errorf("read %v %q with %d files, want %v %q", byte(got.Kind), got.Text, len(got.Files), byte(want.Kind), want.Text)
+			if got.Kind != want.Kind || !bytes.Equal(got.Payload, want.Payload) || len(got.Files) != 0 {
+				t.Errorf("read %v %q with %d files, want %v %q", byte(got.Kind), got.Payload, len(got.Files), byte(want.Kind), want.Payload)
 			}
 		})
 	}
@@ -103,7 +103,7 @@
 func TestLongMessageOfEarlierBuild(t *testing.T) {
 	sender, receiver := pair(t)
 	text := bytes.Repeat([]byte("0123456789abcdef"), 4096+1)
-	if err := sender.Write(Message{Kind: decide.Offer, Text: text, Socks: []syscall.Conn{sender.c}}); err != nil {
+	if err := sender.Write(Message{Kind: decide.Offer, Payload: text, Sockets: []syscall.Conn{sender.socket}}); err != nil {
 		t.Fatal(err)
 	}
 	for i, want := range []struct {
@@ -117,11 +117,11 @@
 	} {
 		buf := make([]byte, 1<<17)
 		oob := make([]byte, 1024)
-		n, oobn, _, _, err := receiver.c.ReadMsgUnix(buf, oob)
+		n, oobn, _, _, err := receiver.socket.ReadMsgUnix(buf, oob)
 		if err != nil {
 			t.Fatal(err)
 		}
-		files, err := received(oob[:oobn])
+		files, err := receivedFiles(oob[:oobn])
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,7 +150,7 @@
 func readPacket(t *testing.T, c *Conn) []byte {
 	t.Helper()
 	buf := make([]byte, 1<<17)
-	n, err := c.c.Read(buf)
+	n, err := c.socket.Read(buf)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/takeover/loop.go
+++ b/internal/takeover/loop.go
@@ -13,17 +13,17 @@
 // Loop brings what happens in a takeover to the one goroutine that carries it out: messages, deadlines, and whatever else its
 // owner posts. Make one with NewLoop, and take its Events until End.
 type Loop struct {
-	Events chan func()
-	Beside sync.WaitGroup // what posts
+	Events     chan func()
+	Goroutines sync.WaitGroup // what posts
 
-	over chan struct{} // closed once no event is taken any more
-	wake *time.Timer
+	done  chan struct{} // closed once no event is taken any more
+	timer *time.Timer
 }
 
 // NewLoop returns a loop that posts woken whenever a deadline that was armed has come.
 func NewLoop(woken func()) *Loop {
-	l := &Loop{Events: make(chan func()), over: make(chan struct{})}
-	l.wake = time.AfterFunc(time.Hour, func() { l.Post(woken) })
+	l := &Loop{Events: make(chan func()), done: make(chan struct{})}
+	l.timer = time.AfterFunc(time.Hour, func() { l.Post(woken) })
 	return l
 }
 
@@ -32,18 +32,18 @@
 	select {
 	case l.Events <- event:
 		return true
-	case <-l.over:
+	case <-l.done:
 		return false
 	}
 }
 
 // Over returns a channel that is closed once no event is taken any more.
-func (l *Loop) Over() <-chan struct{} { return l.over }
+func (l *Loop) Done() <-chan struct{} { return l.done }
 
 // End ends the loop: no event is taken any more. What is beside it may still be at work.
-func (l *Loop) End() {
-	close(l.over)
-	l.wake.Stop()
+func (l *Loop) Close() {
+	close(l.done)
+	l.timer.Stop()
 }
 
 // Arm has the loop woken at the next of some deadlines, of which 0 is none.
@@ -55,28 +55,28 @@
 		}
 	}
 	if next != 0 {
-		l.wake.Reset(max(0, clock.Duration(next-Monotonic())))
+		l.timer.Reset(max(0, clock.Duration(next-Monotonic())))
 	}
 }
 
 // After posts an event in a while.
 func (l *Loop) After(d time.Duration, event func()) {
-	l.Beside.Go(func() {
+	l.Goroutines.Go(func() {
 		select {
 		case <-time.After(d):
 			l.Post(event)
-		case <-l.over:
+		case <-l.done:
 		}
 	})
 }
 
 // Read posts a connection's messages, and its end as one of kind Broken.
 func (l *Loop) Read(c *Conn, got func(c *Conn, m Message)) {
-	l.Beside.Go(func() {
+	l.Goroutines.Go(func() {
 		for {
 			m, err := c.Read()
 			if err != nil {
-				m = Message{Kind: decide.Broken, Text: []byte(err.Error())}
+				m = Message{Kind: decide.ConnectionLost, Payload: []byte(err.Error())}
 			}
 			if !l.Post(func() { got(c, m) }) {
 				m.CloseFiles()
@@ -89,30 +89,30 @@
 }
 
 // Broke posts that a connection is of no use, as its reader would.
-func (l *Loop) Broke(c *Conn, why error, got func(c *Conn, m Message)) {
-	l.Beside.Go(func() {
-		l.Post(func() { got(c, Message{Kind: decide.Broken, Text: []byte(why.Error())}) })
+func (l *Loop) PostConnectionLost(c *Conn, why error, got func(c *Conn, m Message)) {
+	l.Goroutines.Go(func() {
+		l.Post(func() { got(c, Message{Kind: decide.ConnectionLost, Payload: []byte(why.Error())}) })
 	})
 }
 
 // Greeting is how a taker begins.
-func Greeting() Message {
-	return Message{Kind: decide.Hello, Text: fmt.Append(nil, decide.Version)}
+func HelloMessage() Message {
+	return Message{Kind: decide.Hello, Payload: fmt.Append(nil, decide.Version)}
 }
 
 // Unwelcome says why one that has begun so is to be turned away, "" for not at all.
-func Unwelcome(m Message) string {
+func HelloProblem(m Message) string {
 	switch {
 	case m.Kind != decide.Hello:
 		return "that is no takeover"
-	case string(m.Text) != fmt.Sprint(decide.Version):
-		return fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Text)
+	case string(m.Payload) != fmt.Sprint(decide.Version):
+		return fmt.Sprintf("the process that serves speaks version %d, the other %q", decide.Version, m.Payload)
 	}
 	return ""
 }
 
 // Refuse turns one away that has connected.
-func (c *Conn) Refuse(why string) {
-	c.Write(Message{Kind: decide.Refused, Text: []byte(why)})
+func (c *Conn) Reject(why string) {
+	c.Write(Message{Kind: decide.Rejected, Payload: []byte(why)})
 	c.Close()
 }
--- a/internal/takeover/snapshot.go
+++ b/internal/takeover/snapshot.go
@@ -13,8 +13,8 @@
 
 // State is what one process tells another that takes its place.
 type State struct {
-	Taken int64            `json:"Taken"` // the host's monotonic clock, in microseconds: the same in all its processes
-	Core  *engine.Snapshot `json:"Core"`
+	TakenAt  int64            `json:"Taken"` // the host's monotonic clock, in microseconds: the same in all its processes
+	Snapshot *engine.Snapshot `json:"Core"`
 }
 
 // FormatVersion is that of a State's form. Another's is refused as a whole: the taker then starts with what
@@ -24,7 +24,7 @@
 var magic = [4]byte{'D', 'L', 'S', 'S'}
 
 // headSize is magic, version, length and checksum.
-const headSize = 4 + 4 + 8 + 4
+const headerSize = 4 + 4 + 8 + 4
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	var b bytes.Buffer
-	b.Grow(headSize + len(text))
+	b.Grow(headerSize + len(text))
 	b.Write(magic[:])
 	b.Write(binary.BigEndian.AppendUint32(nil, FormatVersion))
 	b.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text))))
@@ -52,13 +52,13 @@
 	refused := func(format string, args ...any) (*State, error) {
 		return nil, fmt.Errorf("%w: %s", ErrState, fmt.Sprintf(format, args...))
 	}
-	if len(b) < headSize || !bytes.Equal(b[:4], magic[:]) {
+	if len(b) < headerSize || !bytes.Equal(b[:4], magic[:]) {
 		return refused("it is none")
 	}
 	if v := binary.BigEndian.Uint32(b[4:]); v != FormatVersion {
 		return refused("version %d, not %d", v, FormatVersion)
 	}
-	text := b[headSize:]
+	text := b[headerSize:]
 	if n := binary.BigEndian.Uint64(b[8:]); n != uint64(len(text)) {
 		return refused("%d of %d bytes", len(text), n)
 	}
@@ -69,7 +69,7 @@
 	if err := json.Unmarshal(text, s); err != nil {
 		return refused("%v", err)
 	}
-	if s.Core == nil {
+	if s.Snapshot == nil {
 		return refused("nothing is in it")
 	}
 	return s, nil
