--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -18,12 +18,12 @@
 )
 
 // desk answers operators' calls.
-func (s *sidecar) desk() admin.Desk {
-	return admin.Desk{Ready: s.takesClients, Figures: s.figures, ByHand: s.byHand, Log: s.log}
+func (s *sidecar) adminBackend() admin.Desk {
+	return admin.Desk{Ready: s.readiness, Figures: s.metrics, ByHand: s.setCordon, Log: s.log}
 }
 
 // takesClients says whether this process takes clients, and if not, why.
-func (s *sidecar) takesClients() (yes bool, why string) {
+func (s *sidecar) readiness() (yes bool, why string) {
 	switch {
 	case !s.accepting.Load():
 		return false, "this process takes no clients"
@@ -34,7 +34,7 @@
 }
 
 // byHand takes an endpoint out, or lets it in again.
-func (s *sidecar) byHand(ctx context.Context, target string, out bool) error {
+func (s *sidecar) setCordon(ctx context.Context, target string, out bool) error {
 	w, known, err := s.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	switch {
 	case err != nil:
@@ -42,30 +42,30 @@
 	case !known:
 		return admin.ErrUnknown
 	}
-	s.course.say(w)
-	s.write(ctx)
+	s.lifecycle.broadcastCordon(w)
+	s.writeCordons(ctx)
 	return nil
 }
 
 // wordsFile holds the words by hand in the folder that two versions of a sidecar share, for the case that the old one can
 // say nothing any more when the new one starts. It is empty at any other start.
 const (
-	wordsFile = "dunlinsail.words"
-	wordsMost = 1 << 20
+	cordonsFile    = "dunlinsail.words"
+	maxCordonsFile = 1 << 20
 )
 
 // write keeps the words. That it fails is told, and no reason to say no: they hold here, and are handed over.
-func (s *sidecar) write(ctx context.Context) {
+func (s *sidecar) writeCordons(ctx context.Context) {
 	if s.config.Meeting == "" {
 		return
 	}
-	s.writing.Lock()
-	defer s.writing.Unlock()
+	s.cordonsFileMu.Lock()
+	defer s.cordonsFileMu.Unlock()
 	words, err := s.core.Cordons(ctx)
 	if err == nil {
 		var text []byte
 		if text, err = json.Marshal(words); err == nil {
-			path := filepath.Join(s.config.Meeting, wordsFile)
+			path := filepath.Join(s.config.Meeting, cordonsFile)
 			own := fmt.Sprintf("%s.%d", path, os.Getpid())
 			if err = os.WriteFile(own, text, 0o600); err == nil {
 				err = os.Rename(own, path)
@@ -78,17 +78,17 @@
 }
 
 // spoken returns the words that another process of this sidecar has kept.
-func (s *sidecar) spoken() (words []cordon.Word) {
+func (s *sidecar) readCordons() (words []cordon.Word) {
 	if s.config.Meeting == "" {
 		return nil
 	}
-	f, err := os.Open(filepath.Join(s.config.Meeting, wordsFile))
+	f, err := os.Open(filepath.Join(s.config.Meeting, cordonsFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
 	if err == nil {
 		defer f.Close()
-		err = json.NewDecoder(io.LimitReader(f, wordsMost)).Decode(&words)
+		err = json.NewDecoder(io.LimitReader(f, maxCordonsFile)).Decode(&words)
 	}
 	if err != nil {
 		s.log.Warn("words by hand not read: who was taken out is to be taken out again", "error", err)
@@ -98,7 +98,7 @@
 }
 
 // figures returns the figures of one moment, a line each.
-func (s *sidecar) figures(ctx context.Context) ([]byte, error) {
+func (s *sidecar) metrics(ctx context.Context) ([]byte, error) {
 	var classes []http1.Counts
 	var open int
 	var relayed uint64
@@ -133,7 +133,7 @@
 }
 
 // operate listens for operators, if they are to call here.
-func (s *sidecar) operate() (stop func(), err error) {
+func (s *sidecar) serveAdmin() (stop func(), err error) {
 	if s.config.Operator == "" {
 		return func() {}, nil
 	}
@@ -144,7 +144,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := admin.Serve(ln, s.desk()); err != nil {
+		if err := admin.Serve(ln, s.adminBackend()); err != nil {
 			s.log.Error("operators' calls are not served any more", "error", err)
 		}
 	}()
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	s := &sidecar{config: &platform.Config{Meeting: dir}, log: scriptedpeer.Quiet}
-	words := s.spoken()
+	words := s.readCordons()
 	want := []cordon.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
 		t.Fatalf("read %+v, want %+v", words, want)
@@ -41,7 +41,7 @@
 
 // TestPathsOfEarlierBuild holds the names of the files at which two builds of a sidecar meet.
 func TestPathsOfEarlierBuild(t *testing.T) {
-	if meetingPlace != "dunlinsail.takeover" || wordsFile != "dunlinsail.words" {
-		t.Errorf("%q, %q", meetingPlace, wordsFile)
+	if socketName != "dunlinsail.takeover" || cordonsFile != "dunlinsail.words" {
+		t.Errorf("%q, %q", socketName, cordonsFile)
 	}
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -11,7 +11,7 @@
 // reloads reads the configuration again at each signal, until ctx ends, and moves to the discovery that its
 // file names anew. ROUTER_DISCOVERY goes before the file at the start only, or no new file could ever name
 // another. All else in the file takes effect at the next start. A file that makes no sense changes nothing.
-func (s *sidecar) reloads(ctx context.Context, signals <-chan os.Signal, read func() (*platform.Config, error)) {
+func (s *sidecar) reloadOnSignal(ctx context.Context, signals <-chan os.Signal, read func() (*platform.Config, error)) {
 	c := s.config
 	for {
 		select {
@@ -29,7 +29,7 @@
 		s.log.Info("configuration read again", "moved", moved, "discovery", c.FileDiscovery)
 		if moved {
 			s.endpoints.SetSource(c.FileDiscovery)
-			s.source.Move(s.watcher(c.FileDiscovery, discovery.Unlisted))
+			s.source.Move(s.watchDiscovery(c.FileDiscovery, discovery.Unlisted))
 		}
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -508,7 +508,7 @@
 	}
 	// The others follow far sooner than one connection alone would.
 	began := time.Now()
-	stayed[limits.MaxIdle].SetReadDeadline(began.Add(idleMost / 2))
+	stayed[limits.MaxIdle].SetReadDeadline(began.Add(maxIdle / 2))
 	if _, err := stayed[limits.MaxIdle].Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("among as many as may rest: %v, want it closed", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,31 +29,31 @@
 	"dunlinsail/internal/upstream"
 )
 
-const acceptFor = 550 * time.Millisecond // after the order to stop: clients still connect for 0.4 s
+const stopAcceptDelay = 550 * time.Millisecond // after the order to stop: clients still connect for 0.4 s
 
 // ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listener, the
 // runtime, calls of discovery, the file of the configuration.
-const ownSockets = 16
+const reservedSockets = 16
 
 const (
 	// restPart of the descriptors, at most, are clients' connections without an open request. The machine of the
 	// clients has limits of its own, and every connection that we keep at rest is one that they cannot open anew:
 	// with half of the descriptors for such, clients that asked once and stayed held all that the usual ones
 	// needed, and their requests never came (incident r412b9a).
-	restPart  = 6
-	idleMost  = 15 * time.Second // between requests, while no other connection rests
-	idleLeast = 100 * time.Millisecond
+	idleConnsDivisor = 6
+	maxIdle          = 15 * time.Second // between requests, while no other connection rests
+	minIdle          = 100 * time.Millisecond
 )
 
 // Where lists are pushed, discovery is an agent on this machine: it answers at once and at no cost. What it is told when it is
 // back after a silence counts as told to us at that moment, so that a call must be waiting, or follow within the grace of a drain.
 const (
-	agentAnswer = 500 * time.Millisecond
-	agentWait   = 50 * time.Millisecond
+	agentAnswerTimeout = 500 * time.Millisecond
+	agentPollWait      = 50 * time.Millisecond
 )
 
 // sockets is how many descriptors clients and endpoints share.
-func sockets(c *platform.Config) int {
+func availableSockets(c *platform.Config) int {
 	if c.Operator != "" {
 		return c.Sockets - admin.Sockets
 	}
@@ -63,13 +63,13 @@
 // clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
 // connections to endpoints: an open request has one of each, and probes and second attempts want more.
 func clientLimits(sockets int) connlimit.Limits {
-	return connlimit.Limits{MaxConnections: (sockets - ownSockets) / 2, MaxIdle: (sockets - ownSockets) / restPart,
-		MaxIdleTime: clock.Micros(idleMost), MinIdleTime: clock.Micros(idleLeast)}
+	return connlimit.Limits{MaxConnections: (sockets - reservedSockets) / 2, MaxIdle: (sockets - reservedSockets) / idleConnsDivisor,
+		MaxIdleTime: clock.Micros(maxIdle), MinIdleTime: clock.Micros(minIdle)}
 }
 
 // upstreamConns is how many connections to endpoints may be open.
 func upstreamConns(sockets int) int {
-	return sockets - ownSockets - clientLimits(sockets).MaxConnections
+	return sockets - reservedSockets - clientLimits(sockets).MaxConnections
 }
 
 // Run serves until stop ends, or another process has taken over, then finishes what it has taken and returns. At each
@@ -118,12 +118,12 @@
 	client *http1.Client // the application
 	events *eventlog.Log // nil where they are not asked for
 
-	endpoints *core.Pool
-	watcher1  *discovery.Watcher // the first
-	start     func()             // starts what runs beside the front
-	course    *course
-	accepting atomic.Bool // clients are taken
-	writing   sync.Mutex  // of the words by hand
+	endpoints     *core.Pool
+	firstWatcher  *discovery.Watcher // the first
+	start         func()             // starts what runs beside the front
+	lifecycle     *lifecycle
+	accepting     atomic.Bool // clients are taken
+	cordonsFileMu sync.Mutex  // of the words by hand
 }
 
 // assemble puts a sidecar together without starting it. dial opens connections to endpoints; nil is the usual
@@ -145,11 +145,11 @@
 			return s.events.Dialed(addr, conn, err)
 		}
 	}
-	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(sockets(c)),
+	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(availableSockets(c)),
 		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive, Settle: upstream.SettleTime,
 		Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses, Dial: dial})
-	w := s.watcher(c.Discovery, c.Known.Generation)
-	s.watcher1 = w
+	w := s.watchDiscovery(c.Discovery, c.Known.Generation)
+	s.firstWatcher = w
 	if c.Site.Settings.Subscribe {
 		s.source = discovery.Once(w, func() {
 			s.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
@@ -170,7 +170,7 @@
 		return nil, err
 	}
 	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Pool: s.endpoints, SendWhole: s.pool.SendWhole,
-		Limits: clientLimits(sockets(c)), Log: log})
+		Limits: clientLimits(availableSockets(c)), Log: log})
 	if err != nil {
 		return nil, err
 	}
@@ -182,18 +182,18 @@
 func (s *sidecar) identify(net.Conn) (*http1.Client, func(), error) { return s.client, nil, nil }
 
 // watcher returns a watcher of a discovery that tells the core.
-func (s *sidecar) watcher(addr string, after int64) *discovery.Watcher {
-	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.tell, s.log)
+func (s *sidecar) watchDiscovery(addr string, after int64) *discovery.Watcher {
+	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.updateEndpoints, s.log)
 	if s.events != nil {
 		w.Asked = s.events.Asked
 	}
 	if !s.config.Site.Settings.Subscribe {
-		w.Answer, w.Wait = agentAnswer, agentWait
+		w.Answer, w.Wait = agentAnswerTimeout, agentPollWait
 	}
 	return w
 }
 
-func (s *sidecar) tell(ctx context.Context, t engine.EndpointUpdate) {
+func (s *sidecar) updateEndpoints(ctx context.Context, t engine.EndpointUpdate) {
 	s.endpoints.UpdateEndpoints(ctx, t)
 }
 
@@ -204,7 +204,7 @@
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	beside.Go(func() { s.reloads(ctx, reload, read) })
+	beside.Go(func() { s.reloadOnSignal(ctx, reload, read) })
 	s.start = func() {
 		beside.Go(func() { s.core.Run(ctx) })
 		beside.Go(func() { s.pool.Keep(ctx) })
@@ -213,12 +213,12 @@
 		}
 	}
 	defer s.source.Close()
-	s.course = newCourse(s, ln)
-	unoperate, err := s.operate()
+	s.lifecycle = newLifecycle(s, ln)
+	unoperate, err := s.serveAdmin()
 	if err != nil {
 		ln.Close()
 		return err
 	}
 	defer unoperate()
-	return s.course.run(stop)
+	return s.lifecycle.run(stop)
 }
