--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -19,11 +19,11 @@
 type clients struct {
 	front *http1.Front
 
-	mu      sync.Mutex
-	config  *config.Config
-	byName  map[string]*http1.Client
-	others  *http1.Client // nil where those who are not named are turned away
-	process map[clientProcess]*single
+	mu        sync.Mutex
+	config    *config.Config
+	byName    map[string]*http1.Client
+	others    *http1.Client // nil where those who are not named are turned away
+	processes map[clientProcess]*processClient
 }
 
 // clientProcess is one among those that a rule counts one by one.
@@ -33,20 +33,20 @@
 }
 
 // single is the account of one process.
-type single struct {
-	client *http1.Client
-	conns  int
-	since  time.Time // without any connection
+type processClient struct {
+	client      *http1.Client
+	connections int
+	idleSince   time.Time // without any connection
 }
 
 // singleTime is how long the account of a process without connections is kept: what it may ask in a second must not
 // begin anew with each connection.
-const singleTime = 10 * time.Second
+const processClientTTL = 10 * time.Second
 
 const othersName = "others"
 
 func newClients(front *http1.Front, c *config.Config) (*clients, error) {
-	k := &clients{front: front, byName: map[string]*http1.Client{}, process: map[clientProcess]*single{}}
+	k := &clients{front: front, byName: map[string]*http1.Client{}, processes: map[clientProcess]*processClient{}}
 	_, err := k.change(c)
 	return k, err
 }
@@ -81,7 +81,7 @@
 			if to, err = set(to, spec(cl.Name, &cl.Bounds)); err != nil {
 				return changed, err
 			}
-			for p, s := range k.process {
+			for p, s := range k.processes {
 				if p.client == cl.Name {
 					if err := k.front.ChangeClient(s.client, spec(s.client.Name, &cl.Bounds)); err != nil {
 						return changed, err
@@ -114,17 +114,17 @@
 		case err != nil:
 			return nil, nil, err
 		case rule == nil && k.others == nil:
-			return nil, nil, errNobody
+			return nil, nil, errUnknownClient
 		case rule == nil:
 			return k.others, nil, nil
 		case !rule.PerProcess || pid == 0:
 			return k.byName[rule.Name], nil, nil
 		}
-		return k.singleLocked(rule, pid)
+		return k.processClientLocked(rule, pid)
 	}
 }
 
-var errNobody = errors.New("no client of the configuration, and there is no table others")
+var errUnknownClient = errors.New("no client of the configuration, and there is no table others")
 
 // ruleLocked finds the client that a connection belongs to, nil for the others, and the process that connected, 0
 // where that is not known.
@@ -156,28 +156,28 @@
 }
 
 // singleLocked returns the account of one process.
-func (k *clients) singleLocked(rule *config.Client, pid int32) (*http1.Client, func(), error) {
-	for p, s := range k.process {
-		if s.conns == 0 && time.Since(s.since) > singleTime {
-			delete(k.process, p)
+func (k *clients) processClientLocked(rule *config.Client, pid int32) (*http1.Client, func(), error) {
+	for p, s := range k.processes {
+		if s.connections == 0 && time.Since(s.idleSince) > processClientTTL {
+			delete(k.processes, p)
 		}
 	}
 	p := clientProcess{rule.Name, pid}
-	s := k.process[p]
+	s := k.processes[p]
 	if s == nil {
 		client, err := k.front.NewClient(spec(fmt.Sprintf("%s/%d", rule.Name, pid), &rule.Bounds))
 		if err != nil {
 			return nil, nil, err
 		}
-		s = &single{client: client}
-		k.process[p] = s
+		s = &processClient{client: client}
+		k.processes[p] = s
 	}
-	s.conns++
+	s.connections++
 	return s.client, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		s.conns--
-		s.since = time.Now()
+		s.connections--
+		s.idleSince = time.Now()
 	}, nil
 }
 
@@ -223,7 +223,7 @@
 	if k.others != nil {
 		add(k.others)
 	}
-	for _, s := range k.process {
+	for _, s := range k.processes {
 		add(s.client)
 	}
 	slices.SortFunc(all, func(a, b Held) int {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,7 @@
 )
 
 // acceptFor is how long a daemon that stops goes on accepting: clients that have just asked where it is still come.
-const acceptFor = 300 * time.Millisecond
+const stopAcceptDelay = 300 * time.Millisecond
 
 // Options are what a daemon is started with.
 type Options struct {
@@ -33,17 +33,17 @@
 	// has changed; nil is nobody.
 	Serving func(addresses map[string]string)
 	// Told is called for each answer that a version of the configuration gets; nil is nobody.
-	Told func(rollout.Command)
+	Answered func(rollout.Command)
 }
 
 // Run serves until stop ends or another process has taken over, and returns once what was taken is answered.
 func Run(stop context.Context, o Options) error {
 	p := newProcess(stop, o)
-	if err := p.begin(); err != nil {
+	if err := p.assembleFirst(); err != nil {
 		return err
 	}
 	return p.run()
 }
 
 // errf is an error of a part of the start.
-func errf(format string, args ...any) error { return fmt.Errorf(format, args...) }
+func errorf(format string, args ...any) error { return fmt.Errorf(format, args...) }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -215,7 +215,7 @@
 		})
 	}
 	d := start(t, w.config(t, `give_up = "1s"`, `give_up = "20s"`))
-	local := strings.TrimPrefix(d.o.Config.Listeners[1].Address, "unix:")
+	local := strings.TrimPrefix(d.options.Config.Listeners[1].Address, "unix:")
 	warm := dial(t, "tcp", d.addrs["desk"])
 	for range 50 {
 		warm.ask(t, request("look", 900, ""))
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -21,31 +21,31 @@
 // generation is what assemble put together: all that serves by one configuration. A configuration that cannot be changed into
 // while serving has a generation of its own, which takes over from the one before it (life).
 type generation struct {
-	o       Options
-	config  *config.Config // that it goes by; o.Config is what it was put together by
-	log     *slog.Logger
-	conns   *upstream.Pool // to endpoints
-	core    *core.Core
-	pools   pools
-	front   *http1.Front
-	clients *clients
+	options   Options
+	config    *config.Config // that it goes by; o.Config is what it was put together by
+	log       *slog.Logger
+	upstreams *upstream.Pool // to endpoints
+	core      *core.Core
+	pools     pools
+	front     *http1.Front
+	clients   *clients
 
-	peers     atomic.Pointer[peers.Peers] // nil while it is among no others
-	spent     *spentLog                   // nil where none is kept
-	settling  *settling                   // nil while it takes no part in the order of machines out
-	inherited *engine.MaintenancePlan     // what the process before this one obeyed; nil is nothing
-	clk       clock.Clock
-	operating func() // ends serving operators; nil while none are
+	gossip        atomic.Pointer[peers.Peers] // nil while it is among no others
+	spentLog      *spentLog                   // nil where none is kept
+	consensus     *consensusMember            // nil while it takes no part in the order of machines out
+	inheritedPlan *engine.MaintenancePlan     // what the process before this one obeyed; nil is nothing
+	clock         clock.Clock
+	stopAdmin     func() // ends serving operators; nil while none are
 
-	recorder *accesslog.Writer // nil where no access record is kept
-	hasher   *accesslog.Hasher
-	tally    *tally // nil where versions are not tried
+	recorder  *accesslog.Writer // nil where no access record is kept
+	keyHasher *accesslog.Hasher
+	tally     *canaryTally // nil where versions are not tried
 
 	listeners []*listener
 
-	ctx    context.Context // of what runs beside the front
-	cancel context.CancelFunc
-	beside sync.WaitGroup
+	ctx        context.Context // of what runs beside the front
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 }
 
 // assemble puts a daemon together without starting it.
@@ -54,64 +54,64 @@
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	d := &generation{o: o, config: c, log: o.Log, pools: pools{}}
+	d := &generation{options: o, config: c, log: o.Log, pools: pools{}}
 	clk := clock.New()
 	if c.Peers.On {
 		clk = clock.NewBootClock() // what is lent ends while the host sleeps, too
 	}
-	d.clk = clk
+	d.clock = clk
 	n := &c.Connections
-	d.conns = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
+	d.upstreams = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
 		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses})
-	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Concurrency: c.Sharing(), Upstream: d.conns, Log: o.Log}
+	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Concurrency: c.Sharing(), Upstream: d.upstreams, Log: o.Log}
 	if path := c.Peers.SpentLog; path != "" {
 		var err error
-		if d.spent, err = openSpent(path, o.Log); err != nil {
+		if d.spentLog, err = openSpentLog(path, o.Log); err != nil {
 			return nil, fmt.Errorf("peers.spent: %w", err)
 		}
-		conf.OnQuotaSpent = d.spent.note
+		conf.OnQuotaSpent = d.spentLog.record
 	}
 	d.core = core.New(conf)
-	if err := d.join(); err != nil {
+	if err := d.joinCoordination(); err != nil {
 		return nil, err
 	}
-	for _, conf := range confPools(c) {
+	for _, conf := range configuredPools(c) {
 		p, err := d.newPool(conf, c.Site.Settings.Subscribe)
 		if err != nil {
 			return nil, err
 		}
 		d.pools[conf.Name] = p
 	}
-	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendWhole: d.conns.SendWhole, Log: o.Log,
+	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendWhole: d.upstreams.SendWhole, Log: o.Log,
 		Limits: c.RestLimits()}
 	if p := d.pools[""]; p != nil {
 		front.Pool = p.endpoints
 	}
 	var err error
 	if c.Control.Tries() {
-		d.tally = &tally{}
-		d.tally.by(c.Site.Settings.Classes, nil)
+		d.tally = &canaryTally{}
+		d.tally.setObjectives(c.Site.Settings.Classes, nil)
 	}
 	if c.Record.Dir != "" || d.tally != nil {
-		front.Record = d.note
+		front.Record = d.recordExchange
 	}
 	if d.front, err = http1.New(front); err != nil {
 		return nil, err
 	}
-	d.route(c)
+	d.setRoutes(c)
 	if d.clients, err = newClients(d.front, c); err != nil {
 		return nil, err
 	}
-	return d, d.record() // last, since it runs
+	return d, d.openAccessLog() // last, since it runs
 }
 
 // start starts what runs beside the front: core, pool, watch. end ends it.
 func (d *generation) start() {
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.beside.Go(func() { d.core.Run(d.ctx) })
-	d.beside.Go(func() { d.conns.Keep(d.ctx) })
+	d.goroutines.Go(func() { d.core.Run(d.ctx) })
+	d.goroutines.Go(func() { d.upstreams.Keep(d.ctx) })
 	for _, p := range d.pools {
-		d.begin(p)
+		d.startSource(p)
 	}
 }
 
@@ -120,28 +120,28 @@
 	for _, l := range d.listeners {
 		l.close()
 	}
-	d.stopOperating()
-	d.unsettles()
+	d.stopServingAdmin()
+	d.stopConsensus()
 	if d.cancel != nil {
-		d.leaveOthers(true)
+		d.stopGossip(true)
 	}
 	for _, p := range d.pools {
-		p.end()
+		p.stopSource()
 	}
 	if d.cancel != nil {
 		d.cancel()
 	}
 	d.front.Cut() // nothing is left, unless the start failed
-	d.beside.Wait()
+	d.goroutines.Wait()
 	if d.recorder != nil {
 		d.recorder.Close()
 	}
-	d.spent.close()
+	d.spentLog.close()
 }
 
 // live says whether a configuration can be changed into while serving, and which tables stand in the way.
-func (d *generation) live(next *config.Config) (tables []string, ok bool) {
-	tables = d.o.Config.Differs(next) // from what it was put together by, however often it has been changed since
+func (d *generation) changesLive(next *config.Config) (tables []string, ok bool) {
+	tables = d.options.Config.Differs(next) // from what it was put together by, however often it has been changed since
 	return tables, len(tables) == 0
 }
 
@@ -151,7 +151,7 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	added, removed, err := d.change(next)
+	added, removed, err := d.changePools(next)
 	if err != nil {
 		return fmt.Errorf("pools and routes: %w", err)
 	}
@@ -164,7 +164,7 @@
 func (d *generation) addresses() map[string]string {
 	all := map[string]string{}
 	for _, l := range d.listeners {
-		all[l.conf.Name] = l.ln.Addr().String()
+		all[l.config.Name] = l.socket.Addr().String()
 	}
 	return all
 }
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -91,7 +91,7 @@
 	}
 	scriptedpeer.Eventually(t, "the ends of those before", func() bool {
 		lives := make(chan int, 1)
-		d.process.post(func() { lives <- d.process.lives })
+		d.process.post(func() { lives <- d.process.running })
 		return scriptedpeer.Within(t, lives, "lives") == 1
 	})
 }
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -175,17 +175,17 @@
 	r = &running{stop: stop, ended: make(chan error, 1), reload: make(chan os.Signal, 1), next: make(chan *config.Config, 1), told: make(chan rollout.Command, 16)}
 	up := make(chan map[string]string, 16)
 	r.process = newProcess(ctx, Options{Config: c, Log: log, Reload: r.reload, Seed: 7, Serving: func(a map[string]string) { up <- a },
-		Told: func(s rollout.Command) { r.told <- s },
+		Answered: func(s rollout.Command) { r.told <- s },
 		Read: func() (*config.Config, error) {
 			if c := <-r.next; c != nil {
 				return c, nil
 			}
 			return nil, errors.New("no sense")
 		}})
-	if err := r.process.begin(); err != nil {
+	if err := r.process.assembleFirst(); err != nil {
 		t.Fatal(err)
 	}
-	r.generation = r.process.now.generation
+	r.generation = r.process.serving.generation
 	go func() {
 		r.ended <- r.process.run()
 		close(r.ended)
@@ -212,7 +212,7 @@
 		t.Fatalf("%v: %s", s.Action, s.Reason)
 	}
 	now := make(chan *generation, 1)
-	r.process.post(func() { now <- r.process.now.generation })
+	r.process.post(func() { now <- r.process.serving.generation })
 	return scriptedpeer.Within(t, now, "the generation")
 }
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -17,37 +17,37 @@
 
 // listener is where clients connect.
 type listener struct {
-	conf     *config.Listener
-	ln       net.Listener
+	config   *config.Listener
+	socket   net.Listener
 	identify http1.Identify
 
-	accepting bool
-	accepts   sync.WaitGroup
+	accepting  bool
+	acceptLoop sync.WaitGroup
 }
 
 // bindFor is how long a cold start waits for an address that another process holds: one that was told to stop just
 // before goes on accepting for a moment.
-const bindFor = 3 * time.Second
+const bindTimeout = 3 * time.Second
 
 // listen opens the listeners of the configuration, those among the offered that it names as they are. On an error
 // none is left open that it opened.
 func (d *generation) listen(stop context.Context, offered []net.Listener, names []string, wait time.Duration) error {
-	for i := range d.o.Config.Listeners {
-		conf := &d.o.Config.Listeners[i]
-		l := &listener{conf: conf, identify: d.clients.identify(conf)}
+	for i := range d.options.Config.Listeners {
+		conf := &d.options.Config.Listeners[i]
+		l := &listener{config: conf, identify: d.clients.identify(conf)}
 		for j, name := range names {
 			if offered[j] != nil && (name == conf.Address || offered[j].Addr().String() == conf.Address) {
-				l.ln, offered[j] = offered[j], nil
-				l.keep(true) // the giver's still, if this comes to nothing
+				l.socket, offered[j] = offered[j], nil
+				l.keepPath(true) // the giver's still, if this comes to nothing
 				break
 			}
 		}
-		if l.ln == nil {
-			ln, err := open(stop, conf, wait)
+		if l.socket == nil {
+			ln, err := openListener(stop, conf, wait)
 			if err != nil {
 				return fmt.Errorf("listener %q: %w", conf.Name, err)
 			}
-			l.ln = ln
+			l.socket = ln
 		}
 		d.listeners = append(d.listeners, l)
 	}
@@ -55,10 +55,10 @@
 }
 
 // open opens one listener. An address in use is waited for.
-func open(stop context.Context, conf *config.Listener, wait time.Duration) (net.Listener, error) {
+func openListener(stop context.Context, conf *config.Listener, wait time.Duration) (net.Listener, error) {
 	network, address := conf.Network()
 	for end := time.Now().Add(wait); ; {
-		ln, err := openOnce(network, address, conf.Mode.Bits)
+		ln, err := openListenerOnce(network, address, conf.Mode.Bits)
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
 			return ln, err
 		}
@@ -70,7 +70,7 @@
 	}
 }
 
-func openOnce(network, address string, mode os.FileMode) (net.Listener, error) {
+func openListenerOnce(network, address string, mode os.FileMode) (net.Listener, error) {
 	if network != "unix" {
 		return net.Listen(network, address)
 	}
@@ -97,31 +97,31 @@
 		return
 	}
 	l.accepting = true
-	l.deadline(time.Time{})
-	l.accepts.Go(func() { f.Accept(l.ln, l.identify) })
+	l.setDeadline(time.Time{})
+	l.acceptLoop.Go(func() { f.Accept(l.socket, l.identify) })
 }
 
 // pause ends accept. Who connects from then on waits in the socket's queue.
 func (l *listener) pause() {
-	l.deadline(time.Unix(1, 0))
-	l.accepts.Wait()
+	l.setDeadline(time.Unix(1, 0))
+	l.acceptLoop.Wait()
 	l.accepting = false
 }
 
-func (l *listener) deadline(t time.Time) {
-	if s, ok := l.ln.(interface{ SetDeadline(time.Time) error }); ok {
+func (l *listener) setDeadline(t time.Time) {
+	if s, ok := l.socket.(interface{ SetDeadline(time.Time) error }); ok {
 		s.SetDeadline(t)
 	}
 }
 
 // keep says whether a unix socket's path stays when it is closed: another process may listen on it.
-func (l *listener) keep(yes bool) {
-	if u, ok := l.ln.(*net.UnixListener); ok {
+func (l *listener) keepPath(yes bool) {
+	if u, ok := l.socket.(*net.UnixListener); ok {
 		u.SetUnlinkOnClose(!yes)
 	}
 }
 
 func (l *listener) close() {
-	l.ln.Close()
-	l.accepts.Wait()
+	l.socket.Close()
+	l.acceptLoop.Wait()
 }
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -12,14 +12,14 @@
 )
 
 // operate serves operators' calls, where an address for them is set.
-func (d *generation) operate() error {
+func (d *generation) serveAdmin() error {
 	addr := d.config.Operators.Address
-	if addr == "" || d.operating != nil {
+	if addr == "" || d.stopAdmin != nil {
 		return nil
 	}
 	var ln net.Listener
 	var err error
-	for end := time.Now().Add(bindFor); ; time.Sleep(bindAgain) { // the process before this one may still have it
+	for end := time.Now().Add(bindTimeout); ; time.Sleep(bindRetryInterval) { // the process before this one may still have it
 		if ln, err = net.Listen("tcp", addr); err == nil || time.Now().After(end) {
 			break
 		}
@@ -30,31 +30,31 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := admin.Serve(ln, d.desk()); err != nil {
+		if err := admin.Serve(ln, d.adminBackend()); err != nil {
 			d.log.Error("operators' calls are not served any more", "error", err)
 		}
 	}()
-	d.operating = func() {
+	d.stopAdmin = func() {
 		ln.Close()
 		<-ended
 	}
 	return nil
 }
 
-func (d *generation) stopOperating() {
-	if d.operating != nil {
-		d.operating()
-		d.operating = nil
+func (d *generation) stopServingAdmin() {
+	if d.stopAdmin != nil {
+		d.stopAdmin()
+		d.stopAdmin = nil
 	}
 }
 
 // desk answers operators' calls.
-func (d *generation) desk() admin.Desk {
-	return admin.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.figures, ByHand: d.byHand, Members: d.view, Work: d.work, Log: d.log}
+func (d *generation) adminBackend() admin.Desk {
+	return admin.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.metrics, ByHand: d.setCordon, Members: d.fleetView, Work: d.work, Log: d.log}
 }
 
 // byHand takes an endpoint out, or lets it in again. It holds at this instance, and goes with its place.
-func (d *generation) byHand(ctx context.Context, target string, out bool) error {
+func (d *generation) setCordon(ctx context.Context, target string, out bool) error {
 	_, known, err := d.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	if err == nil && !known {
 		err = admin.ErrUnknown
@@ -63,7 +63,7 @@
 }
 
 // figures returns the figures of one moment, a line each.
-func (d *generation) figures(ctx context.Context) ([]byte, error) {
+func (d *generation) metrics(ctx context.Context) ([]byte, error) {
 	f, err := d.core.Statistics(ctx, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
@@ -80,7 +80,7 @@
 	if f.HasTenantLimits {
 		line("tenants_over_limit", f.RequestsOverLimit)
 	}
-	if p := d.peers.Load(); p != nil {
+	if p := d.gossip.Load(); p != nil {
 		alive := 0
 		for _, m := range p.Members() {
 			if m.Alive {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -22,12 +22,12 @@
 
 // pool is a pool of the configuration, with the source of its list.
 type pool struct {
-	conf      config.Pool
-	endpoints *core.Pool
-	source    *discovery.Source  // of discovery; nil is another
-	watch     *discovery.Watcher // the source's first
-	file      *endpointsource.File
-	told      int64 // generation of a list that stands in the configuration
+	config         config.Pool
+	endpoints      *core.Pool
+	source         *discovery.Source  // of discovery; nil is another
+	firstWatcher   *discovery.Watcher // the source's first
+	file           *endpointsource.File
+	listGeneration int64 // generation of a list that stands in the configuration
 }
 
 // pools are those that routes lead to, by name. Without routes there is one, of no name, at discovery.
@@ -35,11 +35,11 @@
 
 // newPool adds a pool to the core. begin starts the source of its list.
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
-	p := &pool{conf: conf}
+	p := &pool{config: conf}
 	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.Unlisted},
 		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
 		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
-		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.conns.Rest(conf.Name, n) }, Watch: func(bool) {}}
+		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) }, Watch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
 		c.StaticList = true
@@ -47,13 +47,13 @@
 	case conf.File != "":
 		c.StaticList = true
 	default:
-		p.watch = d.watcher(p, conf.Discovery)
+		p.firstWatcher = d.watcher(p, conf.Discovery)
 		if subscribe {
-			p.source = discovery.Once(p.watch, func() {
+			p.source = discovery.Once(p.firstWatcher, func() {
 				p.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
 			})
 		} else {
-			p.source = discovery.Keep(p.watch)
+			p.source = discovery.Keep(p.firstWatcher)
 		}
 		c.Watch = p.source.Watch
 	}
@@ -64,22 +64,22 @@
 
 // watcher returns a watcher of a discovery that tells a pool. It asks for the whole list first.
 func (d *generation) watcher(p *pool, addr string) *discovery.Watcher {
-	return discovery.NewWatcher(addr, discovery.Unlisted, int(d.o.Config.Process.Memory.Bytes>>20),
+	return discovery.NewWatcher(addr, discovery.Unlisted, int(d.options.Config.Process.Memory.Bytes>>20),
 		func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 }
 
 // begin starts the source of a pool's list.
-func (d *generation) begin(p *pool) {
+func (d *generation) startSource(p *pool) {
 	switch {
-	case p.conf.File != "":
-		p.file = endpointsource.Watch(p.conf.File, endpointsource.Every, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
-	case p.source != nil && !d.o.Config.Site.Settings.Subscribe:
+	case p.config.File != "":
+		p.file = endpointsource.Watch(p.config.File, endpointsource.Every, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
+	case p.source != nil && !d.options.Config.Site.Settings.Subscribe:
 		p.source.Watch(true)
 	}
 }
 
 // end ends the source of a pool's list.
-func (p *pool) end() {
+func (p *pool) stopSource() {
 	if p.source != nil {
 		p.source.Close()
 	}
@@ -89,7 +89,7 @@
 }
 
 // confPools returns the pools that a configuration has.
-func confPools(c *config.Config) []config.Pool {
+func configuredPools(c *config.Config) []config.Pool {
 	if len(c.Routes) == 0 {
 		return []config.Pool{{Discovery: c.Discovery.Address}}
 	}
@@ -98,14 +98,14 @@
 
 // change goes by another file's pools and routes from now on. What is open goes on where it is. On an error nothing has
 // changed.
-func (d *generation) change(next *config.Config) (added, removed []string, err error) {
+func (d *generation) changePools(next *config.Config) (added, removed []string, err error) {
 	after, fresh := pools{}, pools{}
-	for _, conf := range confPools(next) {
-		if p := d.pools[conf.Name]; p != nil && p.becomes(&conf) {
+	for _, conf := range configuredPools(next) {
+		if p := d.pools[conf.Name]; p != nil && p.canBecome(&conf) {
 			after[conf.Name] = p
 			continue
 		}
-		p, err := d.newPool(conf, d.o.Config.Site.Settings.Subscribe)
+		p, err := d.newPool(conf, d.options.Config.Site.Settings.Subscribe)
 		if err != nil {
 			for _, p := range fresh {
 				p.endpoints.Close()
@@ -115,27 +115,27 @@
 		after[conf.Name], fresh[conf.Name] = p, p
 		added = append(added, conf.Name)
 	}
-	for _, conf := range confPools(next) {
+	for _, conf := range configuredPools(next) {
 		switch p := after[conf.Name]; {
 		case fresh[conf.Name] != nil:
-			d.begin(p)
-		case reflect.DeepEqual(p.conf, conf):
+			d.startSource(p)
+		case reflect.DeepEqual(p.config, conf):
 		case conf.Endpoints != nil:
-			p.told++
-			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.told))
+			p.listGeneration++
+			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration))
 		default:
 			p.source.Move(d.watcher(p, conf.Discovery))
 			p.endpoints.SetSource(conf.Source())
 		}
-		after[conf.Name].conf = conf
+		after[conf.Name].config = conf
 	}
 	before := d.pools
 	d.pools = after
-	d.route(next)
+	d.setRoutes(next)
 	for name, p := range before {
 		if after[name] != p {
 			p.endpoints.Close()
-			p.end()
+			p.stopSource()
 			removed = append(removed, name)
 		}
 	}
@@ -144,13 +144,13 @@
 }
 
 // becomes says whether a pool can go on as one of another configuration: with another list, or another discovery.
-func (p *pool) becomes(conf *config.Pool) bool {
-	return p.conf.RetryBudget == conf.RetryBudget && (reflect.DeepEqual(p.conf, *conf) || p.conf.Endpoints != nil && conf.Endpoints != nil ||
-		p.conf.Discovery != "" && conf.Discovery != "")
+func (p *pool) canBecome(conf *config.Pool) bool {
+	return p.config.RetryBudget == conf.RetryBudget && (reflect.DeepEqual(p.config, *conf) || p.config.Endpoints != nil && conf.Endpoints != nil ||
+		p.config.Discovery != "" && conf.Discovery != "")
 }
 
 // route has the front go by a configuration's routes.
-func (d *generation) route(c *config.Config) {
+func (d *generation) setRoutes(c *config.Config) {
 	if len(c.Routes) == 0 {
 		d.front.SetRoutes(nil)
 		return
--- a/internal/daemon/record.go
+++ b/internal/daemon/record.go
@@ -9,16 +9,16 @@
 )
 
 // record starts the access record, if the file asks for one.
-func (d *generation) record() error {
-	c := &d.o.Config.Record
+func (d *generation) openAccessLog() error {
+	c := &d.options.Config.Record
 	if c.Dir == "" {
 		return nil
 	}
 	var err error
-	if d.hasher, err = accesslog.NewHasher(c.Secret); err != nil {
+	if d.keyHasher, err = accesslog.NewHasher(c.Secret); err != nil {
 		return fmt.Errorf("access record: %w", err)
 	}
-	d.recorder, err = accesslog.NewWriter(accesslog.Options{Dir: c.Dir, Instance: d.o.Config.Name, Sample: c.Sample, Rows: c.SegmentRows, Age: c.SegmentAge.Duration,
+	d.recorder, err = accesslog.NewWriter(accesslog.Options{Dir: c.Dir, Instance: d.options.Config.Name, Sample: c.Sample, Rows: c.SegmentRows, Age: c.SegmentAge.Duration,
 		Keep: c.Keep.Bytes, Log: d.log})
 	if err != nil {
 		return fmt.Errorf("access record: %w", err)
@@ -27,18 +27,18 @@
 }
 
 // note takes a request that is over into what is kept of such.
-func (d *generation) note(x *http1.Exchange) {
+func (d *generation) recordExchange(x *http1.Exchange) {
 	if d.tally != nil {
 		d.tally.add(x)
 	}
 	if d.recorder != nil {
-		d.recorder.Add(d.row(x))
+		d.recorder.Add(d.accessLogRow(x))
 	}
 }
 
 // row is what the record holds of a request.
-func (d *generation) row(x *http1.Exchange) accesslog.Row {
-	site, h := &d.o.Config.Site, d.hasher
+func (d *generation) accessLogRow(x *http1.Exchange) accesslog.Row {
+	site, h := &d.options.Config.Site, d.keyHasher
 	r := accesslog.Row{Arrived: x.Arrived, Took: x.Ended - x.Arrived, Waited: x.Answer.QueueTime, Patience: x.Patience, Client: x.Client, Route: x.Route,
 		Class: site.Classes[x.Class], Endpoint: x.Answer.Endpoint, Status: int32(x.Status), Attempts: int32(x.Answer.Attempts), Key: h.Hash("key", x.Key),
 		Object: h.Hash("object", x.Object), In: x.In, Out: x.Out, Retry: x.Retry}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,35 +18,35 @@
 )
 
 // answerTime bounds the steps of a takeover that take no work.
-const answerTime = 5 * time.Second
+const answerTimeout = 5 * time.Second
 
 // life is the course of a generation from its start to its end: as taker, if another serves, and then as giver to the next,
 // in another process or in this one. Its fields belong to the goroutine in run; others use events.
-type life struct {
+type lifecycle struct {
 	*generation
-	stop context.Context
-	loop *takeover.Loop
-
-	began func()         // called once it accepts
-	busy  func(yes bool) // called when it begins to hand over, and when nothing comes of that
-	bound bool           // to take over in this process, or to end
-	told  bool           // the last that busy was told
-
-	taker    decide.Successor
-	from     *takeover.Conn // the giver; nil once there is none
-	offered  offer
-	files    []net.Listener // listening sockets offered, in the offer's order
-	taken    []net.Conn     // connections handed over before we accept
-	started  bool
-	accepted bool
-
-	giver   decide.Predecessor
-	takeLn  *takeover.Listener
-	takes   sync.WaitGroup // the accept loop of takeLn
-	to      *takeover.Conn // the taker; nil while there is none
-	state   []byte         // to go with Go
-	emptied bool           // no connection is served, and our own giver may hand some over yet
-	waiting context.CancelFunc
+	stopContext context.Context
+	loop        *takeover.Loop
+
+	onServing     func()         // called once it accepts
+	onHandingOver func(yes bool) // called when it begins to hand over, and when nothing comes of that
+	inProcess     bool           // to take over in this process, or to end
+	handingOver   bool           // the last that busy was told
+
+	successor        decide.Successor
+	predecessorConn  *takeover.Conn // the giver; nil once there is none
+	received         offer
+	offeredListeners []net.Listener // listening sockets offered, in the offer's order
+	earlyConns       []net.Conn     // connections handed over before we accept
+	started          bool
+	serving          bool
+
+	predecessor       decide.Predecessor
+	successorListener *takeover.Listener
+	accepting         sync.WaitGroup // the accept loop of takeLn
+	successorConn     *takeover.Conn // the taker; nil while there is none
+	snapshot          []byte         // to go with Go
+	drainedEarly      bool           // no connection is served, and our own giver may hand some over yet
+	cancelWait        context.CancelFunc
 
 	result error
 	ended  bool
@@ -61,57 +61,57 @@
 
 // newLife returns the life of a generation. With a connection to a giver in this process it takes over from that and from
 // no other.
-func newLife(stop context.Context, d *generation, giver *takeover.Conn) *life {
-	t := d.o.Config.Takeover
-	times := decide.Times{Ready: clock.Micros(t.ReadyWithin.Duration), Answer: clock.Micros(answerTime),
+func newLifecycle(stop context.Context, d *generation, giver *takeover.Conn) *lifecycle {
+	t := d.options.Config.Takeover
+	times := decide.Times{Ready: clock.Micros(t.ReadyWithin.Duration), Answer: clock.Micros(answerTimeout),
 		Drain: clock.Micros(t.DrainWithin.Duration)}
-	l := &life{generation: d, stop: stop, from: giver, bound: giver != nil,
-		began: func() {}, busy: func(bool) {}, taker: decide.Successor{Times: times}, giver: decide.Predecessor{Times: times}}
-	l.loop = takeover.NewLoop(l.woken)
+	l := &lifecycle{generation: d, stopContext: stop, predecessorConn: giver, inProcess: giver != nil,
+		onServing: func() {}, onHandingOver: func(bool) {}, successor: decide.Successor{Times: times}, predecessor: decide.Predecessor{Times: times}}
+	l.loop = takeover.NewLoop(l.onDeadline)
 	return l
 }
 
 // run takes over or starts cold, serves, and ends.
-func (l *life) run() error {
-	defer l.finish()
-	if err := l.begin(); err != nil {
+func (l *lifecycle) run() error {
+	defer l.close()
+	if err := l.connect(); err != nil {
 		return err
 	}
-	stopped := l.stop.Done()
+	stopped := l.stopContext.Done()
 	for !l.ended {
-		l.loop.Arm(l.taker.Deadline(), l.giver.Deadline())
+		l.loop.Arm(l.successor.Deadline(), l.predecessor.Deadline())
 		select {
 		case event := <-l.loop.Events:
 			event()
 		case <-stopped:
 			stopped = nil
-			l.stopped()
+			l.onStop()
 		}
 	}
 	return l.result
 }
 
 // finish gives everything back, whatever came before.
-func (l *life) finish() {
+func (l *lifecycle) close() {
 	l.loop.Close()
-	if l.waiting != nil {
-		l.waiting()
+	if l.cancelWait != nil {
+		l.cancelWait()
 	}
-	if l.takeLn != nil {
-		l.takeLn.Close()
-		l.takes.Wait()
+	if l.successorListener != nil {
+		l.successorListener.Close()
+		l.accepting.Wait()
 	}
-	for _, c := range []*takeover.Conn{l.from, l.to} {
+	for _, c := range []*takeover.Conn{l.predecessorConn, l.successorConn} {
 		if c != nil {
 			c.Close()
 		}
 	}
-	for _, ln := range l.files {
+	for _, ln := range l.offeredListeners {
 		if ln != nil {
 			ln.Close()
 		}
 	}
-	for _, nc := range l.taken {
+	for _, nc := range l.earlyConns {
 		nc.Close()
 	}
 	l.generation.end()
@@ -120,85 +120,85 @@
 
 func now() monotime.Micros { return takeover.Monotonic() }
 
-func (l *life) woken() {
-	l.takerStep(decide.DeadlineReached, "")
-	l.giverStep(decide.DeadlineReached)
+func (l *lifecycle) onDeadline() {
+	l.stepSuccessor(decide.DeadlineReached, "")
+	l.stepPredecessor(decide.DeadlineReached)
 }
 
-func (l *life) stopped() {
-	if !l.accepted {
-		l.takerStep(decide.Stop, "")
+func (l *lifecycle) onStop() {
+	if !l.serving {
+		l.stepSuccessor(decide.Stop, "")
 		if !l.ended {
 			l.end(nil) // there was nothing yet
 		}
 		return
 	}
-	l.takerStep(decide.Stop, "")
-	l.giverStep(decide.Stop)
+	l.stepSuccessor(decide.Stop, "")
+	l.stepPredecessor(decide.Stop)
 }
 
-func (l *life) end(err error) {
+func (l *lifecycle) end(err error) {
 	if !l.ended {
 		l.ended, l.result = true, err
 	}
 }
 
 // begin asks whoever serves to hand over, or starts alone.
-func (l *life) begin() error {
-	path := l.o.Config.Takeover.Socket
-	if l.from != nil {
+func (l *lifecycle) connect() error {
+	path := l.options.Config.Takeover.Socket
+	if l.predecessorConn != nil {
 		l.log.Info("taking over in this process")
-		l.loop.Read(l.from, l.fromGiver)
-		l.takerSteps(l.taker.Connected(now()))
+		l.loop.Read(l.predecessorConn, l.onPredecessorMessage)
+		l.runSuccessorSteps(l.successor.Connected(now()))
 		return nil
 	}
 	if path == "" {
-		return l.cold()
+		return l.startAlone()
 	}
 	c, err := takeover.Dial(path)
 	switch {
 	case err == nil:
 	case errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNREFUSED):
-		return l.cold()
+		return l.startAlone()
 	default:
-		return errf("takeover: %s: %w", path, err)
+		return errorf("takeover: %s: %w", path, err)
 	}
-	l.from = c
+	l.predecessorConn = c
 	l.log.Info("taking over", "socket", path)
-	l.loop.Read(c, l.fromGiver)
-	l.takerSteps(l.taker.Connected(now()))
+	l.loop.Read(c, l.onPredecessorMessage)
+	l.runSuccessorSteps(l.successor.Connected(now()))
 	return nil
 }
 
 // ---- Taking over -----------------------------------------------------------
 
-func (l *life) fromGiver(c *takeover.Conn, m takeover.Message) {
-	if c != l.from {
+func (l *lifecycle) onPredecessorMessage(c *takeover.Conn, m takeover.Message) {
+	if c != l.predecessorConn {
 		m.CloseFiles()
 		return
 	}
 	switch m.Kind {
 	case decide.Offer:
-		l.inherit(m)
+		l.inheritListeners(m)
 	case takeover.ConnectionHandedOver:
-		l.adopt(m)
+		l.adoptConnections(m)
 		return
 	case decide.Handover:
-		l.state = m.Payload
+		l.snapshot = m.Payload
 	}
 	m.CloseFiles()
-	l.takerStep(m.Kind, string(m.Payload))
-	if l.emptied && !l.taker.ReceivesConnections() {
-		l.emptied = false
-		l.drained()
+	l.stepSuccessor(m.Kind, string(m.Payload))
+	if l.drainedEarly && !l.successor.ReceivesConnections() {
+		l.drainedEarly = false
+		l.waitUntilDrained()
 	}
 }
 
-func (l *life) takerStep(e decide.Event, reason string) {
-	l.takerSteps(l.taker.Step(now(), e, reason))
+func (l *lifecycle) stepSuccessor(e decide.Event, reason string) {
+	l.runSuccessorSteps(l.successor.Step(now(), e, reason))
 }
 
-func (l *life) takerSteps(steps []decide.Step) {
+func (l *lifecycle) runSuccessorSteps(steps []decide.Step) {
 	for _, s := range steps {
 		if l.ended {
 			return
@@ -209,104 +209,104 @@
 			if s.Message == decide.Hello {
 				m = takeover.HelloMessage()
 			}
-			l.from.Write(m) // a failure shows as the connection's end
+			l.predecessorConn.Write(m) // a failure shows as the connection's end
 		case decide.Disconnect:
-			l.from.Close()
-			l.from = nil
+			l.predecessorConn.Close()
+			l.predecessorConn = nil
 		case decide.StartWithOffer:
-			if err := l.startWith(); err != nil {
-				l.from.Write(takeover.Message{Kind: decide.Rejected, Payload: []byte(err.Error())})
+			if err := l.startWithOffer(); err != nil {
+				l.predecessorConn.Write(takeover.Message{Kind: decide.Rejected, Payload: []byte(err.Error())})
 				l.end(err)
 			}
 		case decide.RestoreState:
-			l.restore(l.decode(l.state, "at the handover"), "at the handover")
-			l.state = nil
+			l.restore(l.decodeSnapshot(l.snapshot, "at the handover"), "at the handover")
+			l.snapshot = nil
 		case decide.StartServing:
 			l.serve()
 		case decide.StartAlone:
-			if l.bound {
-				l.end(errf("what served in this process has ended"))
-			} else if err := l.cold(); err != nil {
+			if l.inProcess {
+				l.end(errorf("what served in this process has ended"))
+			} else if err := l.startAlone(); err != nil {
 				l.end(err)
 			}
 		case decide.Fail:
-			if l.stop.Err() != nil {
+			if l.stopContext.Err() != nil {
 				l.end(nil) // we were told to stop before we began
 				return
 			}
-			l.end(errf("takeover: %s", s.Reason))
+			l.end(errorf("takeover: %s", s.Reason))
 		}
 	}
 }
 
 // inherit takes the listening sockets that are offered.
-func (l *life) inherit(m takeover.Message) {
-	if err := json.Unmarshal(m.Payload, &l.offered); err != nil {
+func (l *lifecycle) inheritListeners(m takeover.Message) {
+	if err := json.Unmarshal(m.Payload, &l.received); err != nil {
 		l.log.Warn("what is offered makes no sense", "error", err)
-		l.offered = offer{}
+		l.received = offer{}
 	}
 	for i, f := range m.Files {
-		if l.offered.Takeover && i == len(m.Files)-1 {
+		if l.received.Takeover && i == len(m.Files)-1 {
 			ln, err := takeover.FromFile(f)
 			if err != nil {
 				l.log.Warn("socket for takers not taken over", "error", err)
 				continue
 			}
-			l.takeLn = ln
+			l.successorListener = ln
 			continue
 		}
 		ln, err := net.FileListener(f)
 		if err != nil {
 			l.log.Warn("listening socket not taken over", "error", err)
 		}
-		l.files = append(l.files, ln) // nil in its place
+		l.offeredListeners = append(l.offeredListeners, ln) // nil in its place
 	}
-	l.offered.Listeners = l.offered.Listeners[:min(len(l.offered.Listeners), len(l.files))]
+	l.received.Listeners = l.received.Listeners[:min(len(l.received.Listeners), len(l.offeredListeners))]
 }
 
 // startWith starts with what was offered, and tells once requests could be served.
-func (l *life) startWith() error {
+func (l *lifecycle) startWithOffer() error {
 	var names []string
-	for i, name := range l.offered.Listeners {
-		if l.files[i] == nil {
+	for i, name := range l.received.Listeners {
+		if l.offeredListeners[i] == nil {
 			name = "" // not to be had
 		}
 		names = append(names, name)
 	}
-	if err := l.listen(l.stop, l.files, names, 0); err != nil {
+	if err := l.listen(l.stopContext, l.offeredListeners, names, 0); err != nil {
 		return err
 	}
-	s := l.decode(l.offered.State, "at the start")
+	s := l.decodeSnapshot(l.received.State, "at the start")
 	if s != nil {
 		// The watch goes on where the giver's stands: a whole list might be older than what it has told.
 		for name, p := range l.pools {
-			if from := s.Snapshot.Pool(name); from != nil && p.watch != nil && from.Source == p.conf.Source() {
-				p.watch.StartAfter(from.Generation)
+			if from := s.Snapshot.Pool(name); from != nil && p.firstWatcher != nil && from.Source == p.config.Source() {
+				p.firstWatcher.StartAfter(from.Generation)
 			}
 		}
 	}
 	l.generation.start()
 	l.restore(s, "at the start")
-	l.ready()
+	l.notifyWhenReady()
 	return nil
 }
 
 // ready tells once the core could serve.
-func (l *life) ready() {
+func (l *lifecycle) notifyWhenReady() {
 	ctx, cancel := context.WithCancel(context.Background())
-	l.waiting = cancel
-	l.beside.Go(func() {
+	l.cancelWait = cancel
+	l.goroutines.Go(func() {
 		if l.core.WaitReady(ctx) == nil {
 			l.loop.Post(func() {
 				l.started = true
-				l.takerStep(decide.Started, "")
+				l.stepSuccessor(decide.Started, "")
 			})
 		}
 	})
 }
 
 // decode reads what the giver learned. What cannot be taken is told and left: then we begin with less.
-func (l *life) decode(text []byte, when string) *takeover.State {
+func (l *lifecycle) decodeSnapshot(text []byte, when string) *takeover.State {
 	s, err := takeover.DecodeState(text)
 	if err != nil {
 		l.log.Warn("beginning with less", "when", when, "error", err)
@@ -315,23 +315,23 @@
 	return s
 }
 
-func (l *life) restore(s *takeover.State, when string) {
+func (l *lifecycle) restore(s *takeover.State, when string) {
 	if s == nil {
 		return
 	}
 	age := max(0, takeover.Monotonic()-s.TakenAt)
 	passed := l.core.Restore(s.Snapshot, age)
 	if o := s.Snapshot.Maintenance; o != nil {
-		from := l.clk.Now() - age
-		l.inherited = &engine.MaintenancePlan{Stopped: o.Stopped, Announced: o.Announced, LeaseEnd: from + o.LeaseEnd, DrainDeadline: from + o.DrainDeadline}
-		l.core.ApplyMaintenancePlan(*l.inherited)
+		from := l.clock.Now() - age
+		l.inheritedPlan = &engine.MaintenancePlan{Stopped: o.Stopped, Announced: o.Announced, LeaseEnd: from + o.LeaseEnd, DrainDeadline: from + o.DrainDeadline}
+		l.core.ApplyMaintenancePlan(*l.inheritedPlan)
 	}
 	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(s.Snapshot.Pools),
 		"passed over", passed)
 }
 
 // adopt takes a connection over. It comes from a listener that we have, or it is closed.
-func (l *life) adopt(m takeover.Message) {
+func (l *lifecycle) adoptConnections(m takeover.Message) {
 	for _, f := range m.Files {
 		nc, err := net.FileConn(f)
 		f.Close()
@@ -339,17 +339,17 @@
 			l.log.Warn("connection not taken over", "error", err)
 			continue
 		}
-		if !l.accepted {
-			l.taken = append(l.taken, nc)
+		if !l.serving {
+			l.earlyConns = append(l.earlyConns, nc)
 			continue
 		}
-		l.serveConn(nc)
+		l.adoptConnection(nc)
 	}
 }
 
-func (l *life) serveConn(nc net.Conn) {
+func (l *lifecycle) adoptConnection(nc net.Conn) {
 	for _, ln := range l.listeners {
-		if a, b := ln.ln.Addr(), nc.LocalAddr(); a.Network() == b.Network() && a.String() == b.String() {
+		if a, b := ln.socket.Addr(), nc.LocalAddr(); a.Network() == b.Network() && a.String() == b.String() {
 			l.front.Adopt(nc, ln.identify)
 			return
 		}
@@ -359,9 +359,9 @@
 }
 
 // cold starts with nothing: it listens, and serves once discovery has told of an endpoint.
-func (l *life) cold() error {
-	l.taker.ServeAlone()
-	if err := l.listen(l.stop, nil, nil, bindFor); err != nil {
+func (l *lifecycle) startAlone() error {
+	l.successor.ServeAlone()
+	if err := l.listen(l.stopContext, nil, nil, bindTimeout); err != nil {
 		return err
 	}
 	l.generation.start()
@@ -370,96 +370,96 @@
 }
 
 // serve accepts clients, and takers where that is wanted.
-func (l *life) serve() {
-	l.accepted = true
-	l.together()
+func (l *lifecycle) serve() {
+	l.serving = true
+	l.joinFleet()
 	for _, ln := range l.listeners {
-		ln.keep(false)
+		ln.keepPath(false)
 		ln.accept(l.front)
 	}
-	for i, ln := range l.files { // offered, and not in our file
+	for i, ln := range l.offeredListeners { // offered, and not in our file
 		if ln != nil {
 			if u, ok := ln.(*net.UnixListener); ok {
 				u.SetUnlinkOnClose(true)
 			}
 			ln.Close()
-			l.files[i] = nil
+			l.offeredListeners[i] = nil
 		}
 	}
-	for _, nc := range l.taken {
-		l.serveConn(nc)
+	for _, nc := range l.earlyConns {
+		l.adoptConnection(nc)
 	}
-	l.taken = nil
-	path := l.o.Config.Takeover.Socket
-	if l.takeLn != nil && l.takeLn.Path() != path {
-		l.takeLn.KeepPath(false)
-		l.takeLn.Close()
-		l.takeLn = nil
+	l.earlyConns = nil
+	path := l.options.Config.Takeover.Socket
+	if l.successorListener != nil && l.successorListener.Path() != path {
+		l.successorListener.KeepPath(false)
+		l.successorListener.Close()
+		l.successorListener = nil
 	}
-	if path != "" && l.takeLn == nil {
+	if path != "" && l.successorListener == nil {
 		ln, err := takeover.Listen(path)
 		if err != nil {
 			l.log.Error("no process will be able to take over from this one", "socket", path, "error", err)
 		} else {
-			l.takeLn = ln
+			l.successorListener = ln
 		}
 	}
-	if l.takeLn != nil {
-		l.takeLn.KeepPath(false)
-		l.acceptTakers()
+	if l.successorListener != nil {
+		l.successorListener.KeepPath(false)
+		l.acceptSuccessors()
 	}
-	l.log.Info("serving", "name", l.o.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
-	l.began()
+	l.log.Info("serving", "name", l.options.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
+	l.onServing()
 }
 
 // together has the instance be among the others of its fleet, and operators be served. That either is not to be had is told, and
 // no reason not to serve: the instance goes on by itself.
-func (l *life) together() {
-	if err := l.settles(); err != nil {
+func (l *lifecycle) joinFleet() {
+	if err := l.startConsensus(); err != nil {
 		l.log.Error("machines that go out for work are not known here", "error", err)
 	}
-	if err := l.joinOthers(); err != nil {
+	if err := l.startGossip(); err != nil {
 		l.log.Error("this instance knows of no others, and goes on with its least", "error", err)
 	}
 	l.core.StartCoordination()
-	if err := l.operate(); err != nil {
+	if err := l.serveAdmin(); err != nil {
 		l.log.Error("operators' calls are not served", "error", err)
 	}
 }
 
 // ---- Handing over ----------------------------------------------------------
 
-func (l *life) acceptTakers() {
-	l.takeLn.Pause(false)
-	ln := l.takeLn
-	l.takes.Go(func() {
+func (l *lifecycle) acceptSuccessors() {
+	l.successorListener.Pause(false)
+	ln := l.successorListener
+	l.accepting.Go(func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			l.meet(c)
+			l.readHello(c)
 		}
 	})
 }
 
 // meet hears what whoever connected wants. One that says nothing keeps nobody from taking over.
-func (l *life) meet(c *takeover.Conn) {
-	l.beside.Go(func() {
+func (l *lifecycle) readHello(c *takeover.Conn) {
+	l.goroutines.Go(func() {
 		end := context.AfterFunc(l.ctx, func() { c.Close() })
-		m, err := c.ReadWithin(answerTime)
+		m, err := c.ReadWithin(answerTimeout)
 		end()
 		m.CloseFiles()
-		if err != nil || !l.loop.Post(func() { l.begins(c, m) }) {
+		if err != nil || !l.loop.Post(func() { l.onSuccessorHello(c, m) }) {
 			c.Close()
 		}
 	})
 }
 
 // begins begins with a taker, if there is none yet.
-func (l *life) begins(c *takeover.Conn, m takeover.Message) {
+func (l *lifecycle) onSuccessorHello(c *takeover.Conn, m takeover.Message) {
 	why := takeover.HelloProblem(m)
-	if why == "" && l.to != nil {
+	if why == "" && l.successorConn != nil {
 		why = "another takeover is under way"
 	}
 	if why != "" {
@@ -467,50 +467,50 @@
 		c.Reject(why)
 		return
 	}
-	l.to = c
-	l.loop.Read(c, l.fromTaker)
-	l.giverStep(decide.Hello)
+	l.successorConn = c
+	l.loop.Read(c, l.onSuccessorMessage)
+	l.stepPredecessor(decide.Hello)
 }
 
-func (l *life) fromTaker(c *takeover.Conn, m takeover.Message) {
+func (l *lifecycle) onSuccessorMessage(c *takeover.Conn, m takeover.Message) {
 	m.CloseFiles()
-	if c != l.to {
+	if c != l.successorConn {
 		return
 	}
 	if m.Kind == decide.Rejected || m.Kind == decide.ConnectionLost {
-		l.log.Warn("takeover ended by the other process", "while", l.giver.String(), "reason", string(m.Payload))
+		l.log.Warn("takeover ended by the other process", "while", l.predecessor.String(), "reason", string(m.Payload))
 	}
-	l.giverStep(m.Kind)
+	l.stepPredecessor(m.Kind)
 }
 
-func (l *life) hangUp() {
-	if l.to != nil {
-		l.to.Close()
-		l.to = nil
+func (l *lifecycle) disconnectSuccessor() {
+	if l.successorConn != nil {
+		l.successorConn.Close()
+		l.successorConn = nil
 	}
 }
 
-func (l *life) giverStep(e decide.Event) {
-	for _, s := range l.giver.Step(now(), e) {
+func (l *lifecycle) stepPredecessor(e decide.Event) {
+	for _, s := range l.predecessor.Step(now(), e) {
 		l.log.Debug("takeover", "event", e.String(), "action", s.Action.String(), "message", s.Message.String())
 		switch s.Action {
 		case decide.Send:
-			l.tell(s)
+			l.sendToSuccessor(s)
 		case decide.Disconnect:
-			l.hangUp()
+			l.disconnectSuccessor()
 		case decide.StopAccepting:
-			l.closeFront()
+			l.stopAccepting()
 		case decide.ResumeServing:
-			l.reopen()
+			l.resumeServing()
 		case decide.HandOverConnections:
-			l.release()
+			l.handOverConnections()
 		case decide.Drain:
 			l.drain()
 		case decide.DrainForSuccessor:
 			l.log.Info("ending, another process serves")
 			l.front.Release(nil)
 			l.front.Quiesce()
-			l.drained()
+			l.waitUntilDrained()
 		case decide.CloseRemaining:
 			l.log.Warn("what is still open is ended: takeover.drain_within is over")
 			l.front.Cut()
@@ -518,139 +518,139 @@
 			l.end(nil)
 		}
 	}
-	if yes := l.giver.HandingOver(); yes != l.told {
-		l.told = yes
-		l.busy(yes)
+	if yes := l.predecessor.HandingOver(); yes != l.handingOver {
+		l.handingOver = yes
+		l.onHandingOver(yes)
 	}
 }
 
-func (l *life) tell(s decide.Step) {
-	if l.to == nil {
+func (l *lifecycle) sendToSuccessor(s decide.Step) {
+	if l.successorConn == nil {
 		return
 	}
 	m := takeover.Message{Kind: s.Message, Payload: []byte(s.Reason)}
 	switch s.Message {
 	case decide.Offer:
-		m = l.offer()
+		m = l.offerMessage()
 	case decide.Handover:
-		m.Payload, l.state = l.state, nil
+		m.Payload, l.snapshot = l.snapshot, nil
 	case decide.Activate:
-		l.takerStep(decide.HandedOver, "") // before the other side accepts
+		l.stepSuccessor(decide.HandedOver, "") // before the other side accepts
 		// From here on the paths of unix sockets are the taker's.
 		for _, ln := range l.listeners {
-			ln.keep(true)
+			ln.keepPath(true)
 		}
-		if l.takeLn != nil {
-			l.takeLn.KeepPath(true)
+		if l.successorListener != nil {
+			l.successorListener.KeepPath(true)
 		}
 		l.log.Info("handed over", "waiting for", "open requests and connections")
 	}
-	if err := l.to.Write(m); err != nil {
+	if err := l.successorConn.Write(m); err != nil {
 		l.log.Warn("takeover", "error", err)
-		l.loop.PostConnectionLost(l.to, err, l.fromTaker)
+		l.loop.PostConnectionLost(l.successorConn, err, l.onSuccessorMessage)
 	}
 }
 
 // offer is what a taker is offered: the sockets, and what we know so far.
-func (l *life) offer() takeover.Message {
+func (l *lifecycle) offerMessage() takeover.Message {
 	l.log.Info("another wants to take over")
-	o := offer{Takeover: l.takeLn != nil, State: l.encode(l.core.Snapshot())}
+	o := offer{Takeover: l.successorListener != nil, State: l.encodeSnapshot(l.core.Snapshot())}
 	var socks []syscall.Conn
 	for _, ln := range l.listeners {
-		o.Listeners = append(o.Listeners, ln.conf.Address)
-		socks = append(socks, ln.ln.(syscall.Conn))
+		o.Listeners = append(o.Listeners, ln.config.Address)
+		socks = append(socks, ln.socket.(syscall.Conn))
 	}
 	text, err := json.Marshal(o)
 	if err != nil {
 		l.log.Error("offer", "error", err)
 	}
-	if l.takeLn != nil {
-		socks = append(socks, l.takeLn.Socket())
+	if l.successorListener != nil {
+		socks = append(socks, l.successorListener.Socket())
 	}
 	return takeover.Message{Kind: decide.Offer, Payload: text, Sockets: socks}
 }
 
 // closeFront accepts nothing more and leaves to the taker what it will need.
-func (l *life) closeFront() {
+func (l *lifecycle) stopAccepting() {
 	for _, ln := range l.listeners {
 		ln.pause()
 	}
-	if l.takeLn != nil {
-		l.takeLn.Pause(true)
-		l.takes.Wait()
+	if l.successorListener != nil {
+		l.successorListener.Pause(true)
+		l.accepting.Wait()
 	}
 	s := l.core.SnapshotForHandover()
 	if s != nil {
 		s.Fleet = l.core.HandOverCoordination()
 	}
-	l.stopOperating() // before what it asks is taken from it
-	if o := l.unsettles(); o != nil && s != nil {
+	l.stopServingAdmin() // before what it asks is taken from it
+	if o := l.stopConsensus(); o != nil && s != nil {
 		left := *o
-		left.LeaseEnd, left.DrainDeadline = o.LeaseEnd-l.clk.Now(), o.DrainDeadline-l.clk.Now()
+		left.LeaseEnd, left.DrainDeadline = o.LeaseEnd-l.clock.Now(), o.DrainDeadline-l.clock.Now()
 		s.Maintenance = &left
 	}
-	l.leaveOthers(false)
-	l.state = l.encode(s)
+	l.stopGossip(false)
+	l.snapshot = l.encodeSnapshot(s)
 }
 
-func (l *life) reopen() {
+func (l *lifecycle) resumeServing() {
 	l.log.Info("serving on, as before")
-	l.takerStep(decide.Resumed, "")
-	l.emptied = false
+	l.stepSuccessor(decide.Resumed, "")
+	l.drainedEarly = false
 	l.front.Release(nil)
 	l.core.CancelHandover()
-	l.together()
-	if l.waiting != nil {
-		l.waiting()
+	l.joinFleet()
+	if l.cancelWait != nil {
+		l.cancelWait()
 	}
 	for _, ln := range l.listeners {
-		ln.keep(false)
+		ln.keepPath(false)
 		ln.accept(l.front)
 	}
-	if l.takeLn != nil {
-		l.takeLn.KeepPath(false)
-		l.acceptTakers()
+	if l.successorListener != nil {
+		l.successorListener.KeepPath(false)
+		l.acceptSuccessors()
 	}
 }
 
 // release hands connections over as they come to rest, and tells once there are none left.
-func (l *life) release() {
-	to := l.to
+func (l *lifecycle) handOverConnections() {
+	to := l.successorConn
 	l.front.Release(func(nc net.Conn) bool { return to.HandOver(nc) == nil })
-	l.drained()
+	l.waitUntilDrained()
 }
 
 // drain ends what is open in order: whoever still connects is served for a moment, each answer closes its
 // connection, and cold endpoints get nothing more.
-func (l *life) drain() {
+func (l *lifecycle) drain() {
 	l.log.Info("stopping")
 	l.front.Release(nil)
 	l.front.Quiesce()
 	l.core.SnapshotForHandover()
-	if l.takeLn != nil {
-		l.takeLn.Close()
+	if l.successorListener != nil {
+		l.successorListener.Close()
 	}
 	for _, ln := range l.listeners {
 		ln.accept(l.front) // it may have been paused for a taker that is gone; more than once is once
 	}
-	l.loop.After(acceptFor, func() {
+	l.loop.After(stopAcceptDelay, func() {
 		for _, ln := range l.listeners {
 			ln.close()
 		}
 		l.front.Quiesce()
-		l.drained()
+		l.waitUntilDrained()
 	})
 }
 
 // drained tells once no connection is served any more, and none will be handed to us.
-func (l *life) drained() {
+func (l *lifecycle) waitUntilDrained() {
 	ctx, cancel := context.WithCancel(context.Background())
-	l.waiting = cancel
-	l.beside.Go(func() {
+	l.cancelWait = cancel
+	l.goroutines.Go(func() {
 		if l.front.Wait(ctx) == nil {
 			l.loop.Post(func() {
-				if l.emptied = l.taker.ReceivesConnections(); !l.emptied {
-					l.giverStep(decide.Drained)
+				if l.drainedEarly = l.successor.ReceivesConnections(); !l.drainedEarly {
+					l.stepPredecessor(decide.Drained)
 				}
 			})
 		}
@@ -658,7 +658,7 @@
 }
 
 // encode returns the form of what we know, nothing where it has none: the taker then begins with less.
-func (l *life) encode(s *engine.Snapshot) []byte {
+func (l *lifecycle) encodeSnapshot(s *engine.Snapshot) []byte {
 	state := takeover.State{TakenAt: takeover.Monotonic(), Snapshot: s}
 	text, err := state.Encode()
 	if err != nil {
--- a/internal/daemon/spent_test.go
+++ b/internal/daemon/spent_test.go
@@ -16,12 +16,12 @@
 // Checkers of the fleet's budgets read these lines.
 func TestSpentUnitsKeepTheirStoredForm(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "spent")
-	s, err := openSpent(path, slog.New(slog.DiscardHandler))
+	s, err := openSpentLog(path, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.note(1, "tenant/one")
-	s.note(2, "further")
+	s.record(1, "tenant/one")
+	s.record(2, "further")
 	s.close()
 	stored, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -199,7 +199,7 @@
 func (r *running) stillServes(t *testing.T, old ...*link) {
 	t.Helper()
 	scriptedpeer.Eventually(t, "no takeover", func() bool {
-		c, err := takeover.Dial(r.o.Config.Takeover.Socket)
+		c, err := takeover.Dial(r.options.Config.Takeover.Socket)
 		if err != nil {
 			return false
 		}
@@ -344,9 +344,9 @@
 	t.Run("another version", func(t *testing.T) {
 		w := newWorld(t, 1, endpoint.Options{})
 		d := start(t, w.config(t))
-		k := take(t, d.o.Config.Takeover.Socket)
+		k := take(t, d.options.Config.Takeover.Socket)
 		k.hear(decide.Offer)
-		other := &taking{t, must(takeover.Dial(d.o.Config.Takeover.Socket))}
+		other := &taking{t, must(takeover.Dial(d.options.Config.Takeover.Socket))}
 		defer other.Close()
 		other.say(decide.Hello, fmt.Sprint(decide.Version))
 		if m := other.hear(decide.Rejected); !strings.Contains(string(m.Payload), "under way") {
@@ -355,7 +355,7 @@
 		k.Close()
 		var m takeover.Message
 		scriptedpeer.Eventually(t, "an answer to the version", func() bool {
-			c := must(takeover.Dial(d.o.Config.Takeover.Socket))
+			c := must(takeover.Dial(d.options.Config.Takeover.Socket))
 			defer c.Close()
 			c.Write(takeover.Message{Kind: decide.Hello, Payload: []byte("999")})
 			var err error
--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -11,14 +11,14 @@
 
 // tally sums up what came of a generation's requests, so that one configuration can be held against another. Both must be
 // judged by the same aims and worths, or one that only asks for less would look better.
-type tally struct {
-	mu     sync.Mutex
-	judges []balancer.Class // by the places of the generation's classes
-	s      canary.Sample
+type canaryTally struct {
+	mu         sync.Mutex
+	objectives []balancer.Class // by the places of the generation's classes
+	sample     canary.Sample
 }
 
 // by says by which classes is judged from now on: those of the same name, else the generation's own.
-func (t *tally) by(own, judges []balancer.Class) {
+func (t *canaryTally) setObjectives(own, judges []balancer.Class) {
 	all := append([]balancer.Class(nil), own...)
 	for i := range all {
 		for j := range judges {
@@ -28,41 +28,41 @@
 		}
 	}
 	t.mu.Lock()
-	t.judges = all
+	t.objectives = all
 	t.mu.Unlock()
 }
 
 // add takes in a request that is over. One whose client left before its time was up tells nothing.
-func (t *tally) add(x *http1.Exchange) {
+func (t *canaryTally) add(x *http1.Exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if int(x.Class) >= len(t.judges) {
+	if int(x.Class) >= len(t.objectives) {
 		return
 	}
-	c := &t.judges[x.Class]
+	c := &t.objectives[x.Class]
 	took := x.Ended - x.Arrived
 	if x.Left && took < x.Patience {
 		return
 	}
-	t.s.Requests++
-	t.s.OfferedWeight += c.Worth
+	t.sample.Requests++
+	t.sample.OfferedWeight += c.Worth
 	switch {
 	case x.Left:
-		t.s.Failed++
+		t.sample.Failed++
 	case x.Answer.Verdict == engine.Served && took <= c.Aim:
-		t.s.ServedWeight += c.Worth
+		t.sample.ServedWeight += c.Worth
 	case x.Answer.Verdict == engine.Served:
-		t.s.ServedWeight += c.Worth * c.LateWorth
+		t.sample.ServedWeight += c.Worth * c.LateWorth
 	case x.Answer.Verdict == engine.Failed || x.Answer.Verdict == engine.TimedOut:
-		t.s.Failed++
+		t.sample.Failed++
 	}
 }
 
 // take returns what came since the last time.
-func (t *tally) take() canary.Sample {
+func (t *canaryTally) take() canary.Sample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.s
-	t.s = canary.Sample{}
+	s := t.sample
+	t.sample = canary.Sample{}
 	return s
 }
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -20,14 +20,14 @@
 // This file has a generation be one of its fleet's instances: what carries words, and who may ask about it.
 
 // join has the core decide together with the others, where the configuration says so.
-func (d *generation) join() error {
-	t := d.config.Together(d.o.Seed)
+func (d *generation) joinCoordination() error {
+	t := d.config.Together(d.options.Seed)
 	if t == nil {
 		return nil
 	}
 	t.NextIncarnation = rand.Uint64
 	t.Send = func(to string, w words.Word) {
-		if p := d.peers.Load(); p != nil { // else it is one that has not begun, or has given its place away
+		if p := d.gossip.Load(); p != nil { // else it is one that has not begun, or has given its place away
 			p.Tell(to, w)
 		}
 	}
@@ -35,21 +35,21 @@
 }
 
 // bindAgain is how often an address is asked for that the process before this one may still have.
-const bindAgain = 20 * time.Millisecond
+const bindRetryInterval = 20 * time.Millisecond
 
 // joinOthers has the instance be among the others. It is for one that serves: no other process of its name is among them.
-func (d *generation) joinOthers() error {
+func (d *generation) startGossip() error {
 	c := &d.config.Peers
-	if !c.On || d.peers.Load() != nil {
+	if !c.On || d.gossip.Load() != nil {
 		return nil
 	}
 	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.ReceiveFleetMessage}
-	if x := d.settling; x != nil {
-		o.HandleConsensus = x.hear
+	if x := d.consensus; x != nil {
+		o.HandleConsensus = x.receive
 	}
 	var p *peers.Peers
 	var err error
-	for end := time.Now().Add(bindFor); ; time.Sleep(bindAgain) {
+	for end := time.Now().Add(bindTimeout); ; time.Sleep(bindRetryInterval) {
 		if p, err = peers.Start(o); err == nil || time.Now().After(end) {
 			break
 		}
@@ -57,13 +57,13 @@
 	if err != nil {
 		return err
 	}
-	d.peers.Store(p)
+	d.gossip.Store(p)
 	return nil
 }
 
 // leaveOthers ends that. With tell the others are told; without, another process takes its place.
-func (d *generation) leaveOthers(tell bool) {
-	p := d.peers.Swap(nil)
+func (d *generation) stopGossip(tell bool) {
+	p := d.gossip.Swap(nil)
 	if p == nil {
 		return
 	}
@@ -82,8 +82,8 @@
 }
 
 // view returns it, as JSON.
-func (d *generation) view(ctx context.Context) ([]byte, error) {
-	p := d.peers.Load()
+func (d *generation) fleetView(ctx context.Context) ([]byte, error) {
+	p := d.gossip.Load()
 	if p == nil {
 		return nil, fmt.Errorf("this instance is among no others: peers.on is false, or it does not serve")
 	}
@@ -97,22 +97,22 @@
 // spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in microseconds, which all its
 // processes read alike, and the budget.
 type spentLog struct {
-	lines chan string
-	ended chan struct{}
-	lost  bool
+	lines   chan string
+	done    chan struct{}
+	dropped bool
 }
 
 // spentWaiting is how many lines wait for a disk that is slow; beyond that some are missing, and one line says so.
-const spentWaiting = 1 << 14
+const spentLogBuffer = 1 << 14
 
-func openSpent(path string, log *slog.Logger) (*spentLog, error) {
+func openSpentLog(path string, log *slog.Logger) (*spentLog, error) {
 	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	s := &spentLog{lines: make(chan string, spentWaiting), ended: make(chan struct{})}
+	s := &spentLog{lines: make(chan string, spentLogBuffer), done: make(chan struct{})}
 	go func() {
-		defer close(s.ended)
+		defer close(s.done)
 		defer f.Close()
 		w := bufio.NewWriter(f)
 		for line := range s.lines {
@@ -132,21 +132,21 @@
 }
 
 // note notes a unit. It never waits.
-func (s *spentLog) note(_ monotime.Micros, budget string) {
-	if s.lost && len(s.lines) < spentWaiting/2 {
-		s.lost = false
+func (s *spentLog) record(_ monotime.Micros, budget string) {
+	if s.dropped && len(s.lines) < spentLogBuffer/2 {
+		s.dropped = false
 		s.lines <- "# some are missing\n"
 	}
 	select {
 	case s.lines <- strconv.FormatInt(clock.BootTime(), 10) + " " + budget + "\n":
 	default:
-		s.lost = true
+		s.dropped = true
 	}
 }
 
 func (s *spentLog) close() {
 	if s != nil {
 		close(s.lines)
-		<-s.ended
+		<-s.done
 	}
 }
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -23,39 +23,39 @@
 // versioning is the part of a process that has to do with which configuration it runs: where versions come from, the machine
 // that decides between them, what is kept of them, and how the one on trial does. It belongs to the process's goroutine.
 type versioning struct {
-	machine *rollout.StateMachine
-	first   *config.Config                                             // to begin with
-	done    func(now monotime.Micros, reason string) []rollout.Command // what the machine is told once what is applied is so
+	machine     *rollout.StateMachine
+	first       *config.Config                                             // to begin with
+	appliedStep func(now monotime.Micros, reason string) []rollout.Command // what the machine is told once what is applied is so
 
-	reads     uint64                       // of the file
+	fileReads uint64                       // of the file
 	files     map[string]*config.Config    // contents of the file, by digest: those that the machine may name
 	resources map[string][]config.Resource // contents of the service's versions
-	dir       *configcache.Cache           // nil where nothing is kept
-	beside    sync.WaitGroup
-
-	control   config.Control // as it is followed
-	client    *xdsclient.Client
-	unfollow  context.CancelFunc // ends that
-	following sync.WaitGroup
-
-	trial  *canary.Analysis // nil while none is under way
-	tried  []canary.Sample  // in it
-	before []canary.Sample  // what it is held against: the last of what was good
-	last   time.Time        // when the last sample ended
+	cache     *configcache.Cache           // nil where nothing is kept
+	saving    sync.WaitGroup
+
+	control       config.Control // as it is followed
+	client        *xdsclient.Client
+	stopFollowing context.CancelFunc // ends that
+	following     sync.WaitGroup
+
+	canary          *canary.Analysis // nil while none is under way
+	canarySamples   []canary.Sample  // in it
+	baselineSamples []canary.Sample  // what it is held against: the last of what was good
+	lastSample      time.Time        // when the last sample ended
 }
 
 const (
-	gapLeast  = 100 * time.Millisecond // from one check of the file to the next, where there is no control service
-	slot      = 250 * time.Millisecond // of a sample
-	slotsMost = 240                    // that a trial is held against
+	fileCheckGap       = 100 * time.Millisecond // from one check of the file to the next, where there is no control service
+	sampleInterval     = 250 * time.Millisecond // of a sample
+	maxBaselineSamples = 240                    // that a trial is held against
 )
 
 // trialRush is how often a trial begins anew in which so much more is asked for than before that it proves nothing.
-const trialRush = 3
+const maxCanaryRestarts = 3
 
 // settings returns the machine's.
 func machineSettings(c *config.Control, seed uint64) rollout.Settings {
-	s := rollout.Settings{CanaryEnabled: c.Tries(), MinValidationInterval: clock.Micros(gapLeast), Seed: seed}
+	s := rollout.Settings{CanaryEnabled: c.Tries(), MinValidationInterval: clock.Micros(fileCheckGap), Seed: seed}
 	if c.Address != "" {
 		s.MinValidationInterval = c.Gap.Micros()
 	}
@@ -64,43 +64,43 @@
 
 // recall finds what to begin with: the file, and over it the last good version of the service's. Without a sound one it is
 // the file alone, which is sound by itself.
-func (p *process) recall() {
-	p.files, p.resources, p.unfollow = map[string]*config.Config{}, map[string][]config.Resource{}, func() {}
-	file := p.o.Config
+func (p *process) restoreVersions() {
+	p.files, p.resources, p.stopFollowing = map[string]*config.Config{}, map[string][]config.Resource{}, func() {}
+	file := p.options.Config
 	p.first = file
 	running := rollout.LayeredVersion{File: p.fileVersion(file)}
 	var known rollout.PersistentState
 	if c := &file.Control; c.State != "" {
 		var err error
-		if p.dir, err = configcache.Open(c.State); err != nil {
+		if p.cache, err = configcache.Open(c.State); err != nil {
 			p.log.Error("no version of the configuration will be kept", "folder", c.State, "error", err)
-		} else if k := p.load(); k != nil {
+		} else if k := p.loadState(); k != nil {
 			known = *k
 		}
 	}
 	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.Control.Address != "" {
-		if c, err := p.recalled(known.LastKnownGood.ControlPlane, file); err != nil {
+		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
 			p.log.Error("the last good version cannot be begun with, the file alone is", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
 		} else {
 			p.first, running.ControlPlane = c, known.LastKnownGood.ControlPlane
 			p.log.Info("beginning with the last good version", "version", running.String())
 		}
 	}
-	if known.LastKnownGood != nil && !same(known.LastKnownGood, &running) {
+	if known.LastKnownGood != nil && !sameContents(known.LastKnownGood, &running) {
 		// Whoever starts the process with another file means it.
 		known.PreviousGood, known.LastKnownGood = known.LastKnownGood, &running
 	}
-	p.machine = rollout.New(machineSettings(&file.Control, p.o.Seed), running, known)
+	p.machine = rollout.New(machineSettings(&file.Control, p.options.Seed), running, known)
 }
 
 // same says whether two pairs have the same contents.
-func same(a, b *rollout.LayeredVersion) bool {
+func sameContents(a, b *rollout.LayeredVersion) bool {
 	return a.File.Digest == b.File.Digest && (a.ControlPlane == nil) == (b.ControlPlane == nil) && (a.ControlPlane == nil || *a.ControlPlane == *b.ControlPlane)
 }
 
 // load returns what was known when the process before this one ended, nil if nothing is kept.
-func (p *process) load() *rollout.PersistentState {
-	k, from, err := p.dir.Load()
+func (p *process) loadState() *rollout.PersistentState {
+	k, from, err := p.cache.Load()
 	if err != nil {
 		p.log.Error("what was kept of versions is not all sound", "from", from, "error", err)
 	}
@@ -111,7 +111,7 @@
 		if pair == nil {
 			continue
 		}
-		if text, err := p.dir.Content(pair.File.Digest); err == nil && digest(text) == pair.File.Digest {
+		if text, err := p.cache.Content(pair.File.Digest); err == nil && digest(text) == pair.File.Digest {
 			if c, err := config.Parse(text); err == nil {
 				p.files[pair.File.Digest] = c
 			}
@@ -121,8 +121,8 @@
 }
 
 // recalled returns the configuration that a version comes to over a file, from what is kept.
-func (p *process) recalled(v *rollout.Version, file *config.Config) (*config.Config, error) {
-	text, err := p.dir.Content(v.Digest)
+func (p *process) cachedConfig(v *rollout.Version, file *config.Config) (*config.Config, error) {
+	text, err := p.cache.Content(v.Digest)
 	if err != nil {
 		return nil, err
 	}
@@ -145,39 +145,39 @@
 // ---- Where versions come from -------------------------------------------------
 
 // read reads the file again, and offers what is in it.
-func (p *process) read() {
-	c, err := p.o.Read()
+func (p *process) readFile() {
+	c, err := p.options.Read()
 	if err != nil {
 		p.log.Error("configuration not read again, the old one is kept", "error", err)
 		return
 	}
-	p.do(p.machine.Offer(now(), p.fileVersion(c)))
+	p.carryOut(p.machine.Offer(now(), p.fileVersion(c)))
 }
 
 // fileVersion notes a content of the file, and returns its version.
 func (p *process) fileVersion(c *config.Config) rollout.Version {
-	p.reads++
-	v := rollout.Version{ID: rollout.ID{Source: rollout.SourceFile, Number: p.reads}, Digest: digest(c.Text)}
+	p.fileReads++
+	v := rollout.Version{ID: rollout.ID{Source: rollout.SourceFile, Number: p.fileReads}, Digest: digest(c.Text)}
 	p.files[v.Digest] = c
 	return v
 }
 
 // follow asks the control service that a configuration names, if it is another than before.
-func (p *process) follow(c *config.Config) {
+func (p *process) followService(c *config.Config) {
 	if reflect.DeepEqual(p.control, c.Control) {
 		return
 	}
-	p.unfollow()
-	p.unfollow, p.client, p.control = func() {}, nil, c.Control
+	p.stopFollowing()
+	p.stopFollowing, p.client, p.control = func() {}, nil, c.Control
 	if c.Control.Address == "" {
 		return
 	}
 	var client *xdsclient.Client
-	client, err := xdsclient.New(xdsclient.Options{Settings: c.Control, InstanceName: c.Name, Zone: c.Fleet.Zone, Applied: p.service(), Log: p.log,
+	client, err := xdsclient.New(xdsclient.Options{Settings: c.Control, InstanceName: c.Name, Zone: c.Fleet.Zone, Applied: p.runningServiceVersion(), Log: p.log,
 		OnUpdate: func(u xdsclient.Update) {
 			p.post(func() {
 				if p.client == client {
-					p.offered(u)
+					p.onUpdate(u)
 				}
 			})
 		}})
@@ -186,14 +186,14 @@
 		return
 	}
 	var ctx context.Context
-	ctx, p.unfollow = context.WithCancel(context.Background())
+	ctx, p.stopFollowing = context.WithCancel(context.Background())
 	p.client = client
 	p.following.Go(func() { client.Run(ctx) })
 	p.log.Info("versions of the configuration come from a control service", "service", c.Control.Address)
 }
 
 // service returns which of the service's versions runs, or will in a moment; nil for none.
-func (p *process) service() *rollout.ID {
+func (p *process) runningServiceVersion() *rollout.ID {
 	pair, _ := p.machine.Running()
 	if phase, _ := p.machine.Phase(); phase == rollout.PhaseRollingBack {
 		pair = *p.machine.PersistentState().LastKnownGood
@@ -205,36 +205,36 @@
 }
 
 // offered takes a version in that the service sent.
-func (p *process) offered(u xdsclient.Update) {
+func (p *process) onUpdate(u xdsclient.Update) {
 	if u.DecodeError != "" {
-		p.do(p.machine.RejectUnreadable(u.Version, u.DecodeError))
+		p.carryOut(p.machine.RejectUnreadable(u.Version, u.DecodeError))
 		return
 	}
 	if p.resources[u.Version.Digest] == nil {
 		p.resources[u.Version.Digest] = u.Resources
 	}
-	p.do(p.machine.Offer(now(), u.Version))
-	p.forget()
+	p.carryOut(p.machine.Offer(now(), u.Version))
+	p.dropUnused()
 }
 
 // ---- What the machine wants ------------------------------------------------------
 
 // do carries out what the machine wants.
-func (p *process) do(steps []rollout.Command) {
+func (p *process) carryOut(steps []rollout.Command) {
 	for _, s := range steps {
 		switch s.Action {
 		case rollout.ActionValidate:
-			p.do(p.machine.HandleValidated(now(), p.check(&s)))
+			p.carryOut(p.machine.HandleValidated(now(), p.check(&s)))
 		case rollout.ActionApply, rollout.ActionRollBack:
 			p.apply(&s)
 		case rollout.ActionStartCanary:
-			p.try()
+			p.startCanary()
 		case rollout.ActionStopCanary:
-			p.trial = nil
+			p.canary = nil
 		case rollout.ActionPersist:
-			p.save()
+			p.saveState()
 		case rollout.ActionAck, rollout.ActionNack:
-			p.answer(&s)
+			p.answerSource(&s)
 		}
 	}
 }
@@ -265,68 +265,68 @@
 
 // apply begins to apply what the machine wants applied, or gone back to.
 func (p *process) apply(s *rollout.Command) {
-	p.done = p.machine.HandleApplied
+	p.appliedStep = p.machine.HandleApplied
 	if s.Action == rollout.ActionRollBack {
-		p.done = p.machine.HandleRolledBack
+		p.appliedStep = p.machine.HandleRolledBack
 	}
 	c, err := p.config(s.Target)
 	if err == nil {
-		err = p.prepare(c)
+		err = p.prepareProcess(c)
 	}
 	if err != nil {
-		p.finish(err)
+		p.onApplied(err)
 		return
 	}
-	tables, live := p.now.live(c)
+	tables, live := p.serving.changesLive(c)
 	p.log.Info("configuration", "version", s.Target.String(), "while serving", live, "tables", tables)
 	if !live {
-		if err := p.succeed(c); err != nil {
-			p.finish(err)
+		if err := p.startSuccessor(c); err != nil {
+			p.onApplied(err)
 		}
 		return
 	}
-	to := p.now
+	to := p.serving
 	go func() {
 		err := errors.New("the daemon ends")
 		done := make(chan struct{})
 		if to.loop.Post(func() { err = to.apply(c); close(done) }) {
 			<-done
 		}
-		p.post(func() { p.finish(err) })
+		p.post(func() { p.onApplied(err) })
 	}()
 }
 
 // finish tells the machine how what was to be applied has ended.
-func (p *process) finish(err error) {
+func (p *process) onApplied(err error) {
 	if err != nil && p.stop.Err() != nil {
 		return // what failed may be the process's own end: it is held against nothing (leave)
 	}
 	reason := ""
 	if err != nil {
 		reason = err.Error()
-		p.prepare(p.now.o.Config) // as it was before
+		p.prepareProcess(p.serving.options.Config) // as it was before
 	}
-	done := p.done
-	p.done = nil
-	p.do(done(now(), reason))
+	done := p.appliedStep
+	p.appliedStep = nil
+	p.carryOut(done(now(), reason))
 	if c, err := p.config(first(p.machine.Running())); err == nil {
 		p.machine.UpdateSettings(machineSettings(&c.Control, 0))
-		p.follow(c)
+		p.followService(c)
 	}
 }
 
 func first[A, B any](a A, _ B) A { return a }
 
 // prepare sets what holds for the whole process.
-func (p *process) prepare(c *config.Config) error {
-	if p.o.Prepare == nil {
+func (p *process) prepareProcess(c *config.Config) error {
+	if p.options.Prepare == nil {
 		return nil
 	}
-	return p.o.Prepare(&c.Process)
+	return p.options.Prepare(&c.Process)
 }
 
 // answer tells the source of a version what became of it.
-func (p *process) answer(s *rollout.Command) {
+func (p *process) answerSource(s *rollout.Command) {
 	id := s.Version.ID.String()
 	switch {
 	case s.Action == rollout.ActionNack:
@@ -338,46 +338,46 @@
 	}
 	if s.Version.Source == rollout.SourceControlPlane && p.client != nil {
 		if s.Action == rollout.ActionNack {
-			p.client.Nack(s.Version.ID, s.Reason, p.service())
+			p.client.Nack(s.Version.ID, s.Reason, p.runningServiceVersion())
 		} else {
 			p.client.Ack(s.Version.ID, s.Confirmed)
 		}
 	}
-	p.forget()
-	if p.o.Told != nil {
-		p.o.Told(*s)
+	p.dropUnused()
+	if p.options.Answered != nil {
+		p.options.Answered(*s)
 	}
 }
 
 // ---- What is kept ----------------------------------------------------------------
 
 // save writes down what is known.
-func (p *process) save() {
-	if p.dir == nil {
-		p.do(p.machine.HandlePersisted(now(), ""))
+func (p *process) saveState() {
+	if p.cache == nil {
+		p.carryOut(p.machine.HandlePersisted(now(), ""))
 		return
 	}
-	k, contents, err := p.toKeep()
+	k, contents, err := p.stateToSave()
 	if err != nil {
-		p.do(p.machine.HandlePersisted(now(), err.Error()))
+		p.carryOut(p.machine.HandlePersisted(now(), err.Error()))
 		return
 	}
-	p.beside.Go(func() {
+	p.saving.Go(func() {
 		reason := ""
-		if err := p.dir.Save(k, contents); err != nil {
+		if err := p.cache.Save(k, contents); err != nil {
 			reason = err.Error()
 		}
 		p.post(func() {
 			if reason != "" && p.machine.PersistError() == "" {
 				p.log.Error("what is known of versions cannot be written down; it is tried again", "error", reason)
 			}
-			p.do(p.machine.HandlePersisted(now(), reason))
+			p.carryOut(p.machine.HandlePersisted(now(), reason))
 		})
 	})
 }
 
 // toKeep returns a copy of what is known, and the contents that it names.
-func (p *process) toKeep() (*rollout.PersistentState, map[string][]byte, error) {
+func (p *process) stateToSave() (*rollout.PersistentState, map[string][]byte, error) {
 	text, err := json.Marshal(p.machine.PersistentState())
 	if err != nil {
 		return nil, nil, err
@@ -399,7 +399,7 @@
 }
 
 // forget lets contents go that nothing names any more.
-func (p *process) forget() {
+func (p *process) dropUnused() {
 	keep := map[string]bool{}
 	note := func(v *rollout.Version) {
 		if v != nil {
@@ -430,16 +430,16 @@
 }
 
 // leave is the end of the process. One that was told to end did not end by what it tried.
-func (p *process) leave() {
-	p.unfollow()
-	p.beside.Wait()
-	if p.dir == nil || p.stop.Err() == nil || p.machine.PersistentState().Unconfirmed == nil {
+func (p *process) stopVersioning() {
+	p.stopFollowing()
+	p.saving.Wait()
+	if p.cache == nil || p.stop.Err() == nil || p.machine.PersistentState().Unconfirmed == nil {
 		return
 	}
 	p.machine.ForgiveLastAttempt()
-	k, contents, err := p.toKeep()
+	k, contents, err := p.stateToSave()
 	if err == nil {
-		err = p.dir.Save(k, contents)
+		err = p.cache.Save(k, contents)
 	}
 	if err != nil {
 		p.log.Warn("what is known of versions cannot be written down", "error", err)
@@ -449,55 +449,55 @@
 // ---- How what is tried does -------------------------------------------------------
 
 // try begins a trial of what runs now against what was good until then.
-func (p *process) try() {
+func (p *process) startCanary() {
 	c := &p.control
-	s := canary.Settings{Duration: c.Trial.Micros(), HarmMargin: c.Margin, Alpha: c.Alpha, MaxExtensions: trialRush}
+	s := canary.Settings{Duration: c.Trial.Micros(), HarmMargin: c.Margin, Alpha: c.Alpha, MaxExtensions: maxCanaryRestarts}
 	s.MinDuration = min(s.Duration/4, 5_000_000)
 	var err error
-	if p.trial, err = canary.NewAnalysis(s, p.before...); err != nil {
+	if p.canary, err = canary.NewAnalysis(s, p.baselineSamples...); err != nil {
 		p.log.Error("no trial", "error", err) // config has checked what it needs
-		p.do(p.machine.HandleCanaryResult(now(), ""))
+		p.carryOut(p.machine.HandleCanaryResult(now(), ""))
 		return
 	}
-	p.tried = nil
-	t := p.now.tally
+	p.canarySamples = nil
+	t := p.serving.tally
 	if t == nil {
 		return
 	}
 	if good, err := p.config(*p.machine.PersistentState().LastKnownGood); err == nil {
-		t.by(p.now.o.Config.Site.Settings.Classes, good.Site.Settings.Classes)
+		t.setObjectives(p.serving.options.Config.Site.Settings.Classes, good.Site.Settings.Classes)
 	}
 	t.take() // what was before
 }
 
 // sample takes in what came of requests in the last slot.
-func (p *process) sample() {
+func (p *process) takeSample() {
 	at := time.Now()
-	length := at.Sub(p.last)
-	p.last = at
-	t := p.now.tally
-	if t == nil || length > 10*slot {
+	length := at.Sub(p.lastSample)
+	p.lastSample = at
+	t := p.serving.tally
+	if t == nil || length > 10*sampleInterval {
 		return
 	}
 	s := t.take()
 	s.Duration = length.Microseconds()
-	if p.trial == nil {
-		p.before = append(p.before, s)
-		p.before = p.before[max(0, len(p.before)-slotsMost):]
+	if p.canary == nil {
+		p.baselineSamples = append(p.baselineSamples, s)
+		p.baselineSamples = p.baselineSamples[max(0, len(p.baselineSamples)-maxBaselineSamples):]
 		return
 	}
-	p.tried = append(p.tried, s)
-	switch verdict, figures := p.trial.AddCanary(s); verdict {
+	p.canarySamples = append(p.canarySamples, s)
+	switch verdict, figures := p.canary.AddCanary(s); verdict {
 	case canary.Undecided:
 	case canary.Degraded:
-		p.trial = nil
-		p.do(p.machine.HandleCanaryResult(now(), fmt.Sprintf("worse by %s: %s", figures.Metric, figures.Text())))
+		p.canary = nil
+		p.carryOut(p.machine.HandleCanaryResult(now(), fmt.Sprintf("worse by %s: %s", figures.Metric, figures.Text())))
 	default:
-		p.trial = nil
+		p.canary = nil
 		p.log.Info("trial ended", "verdict", verdict.String(), "figures", figures.Text())
-		p.before = append(p.before, p.tried...)
-		p.before = p.before[max(0, len(p.before)-slotsMost):]
-		t.by(p.now.o.Config.Site.Settings.Classes, nil)
-		p.do(p.machine.HandleCanaryResult(now(), ""))
+		p.baselineSamples = append(p.baselineSamples, p.canarySamples...)
+		p.baselineSamples = p.baselineSamples[max(0, len(p.baselineSamples)-maxBaselineSamples):]
+		t.setObjectives(p.serving.options.Config.Site.Settings.Classes, nil)
+		p.carryOut(p.machine.HandleCanaryResult(now(), ""))
 	}
 }
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -18,37 +18,37 @@
 
 // settling is a generation's part in settling in which order machines go out for work: a goroutine of its own, since it keeps a log on
 // disk. The core is told what it has to obey, and requests never wait for any of it.
-type settling struct {
-	d      *generation
-	node   *consensus.Node
-	file   *consensus.BoltStore // nil for who is no voter
-	events chan func()
-	stop   context.CancelFunc
-	ended  chan struct{}
+type consensusMember struct {
+	generation *generation
+	node       *consensus.Node
+	file       *consensus.BoltStore // nil for who is no voter
+	events     chan func()
+	cancel     context.CancelFunc
+	done       chan struct{}
 
-	facts   maintenance.FleetStatus
-	factsAt clock.Micros64
-	peak    float64
-	peakAt  clock.Micros64
-	open    map[string]int
-	obeyed  engine.MaintenancePlan
-	waiting map[uint64]chan consensus.OperatorReply
-	warned  bool
+	facts          maintenance.FleetStatus
+	factsTime      clock.Micros64
+	peak           float64
+	peakTime       clock.Micros64
+	open           map[string]int
+	applied        engine.MaintenancePlan
+	replies        map[uint64]chan consensus.OperatorReply
+	voteLossLogged bool
 }
 
 const (
-	lookEvery = 500_000     // microseconds from one look at how machines stand to the next
-	peakFor   = 900_000_000 // for so long what was in use at most counts for the time to come
-	turnEvery = 10 * time.Millisecond
+	observeInterval = 500_000     // microseconds from one look at how machines stand to the next
+	peakWindow      = 900_000_000 // for so long what was in use at most counts for the time to come
+	tickInterval    = 10 * time.Millisecond
 )
 
 // settles begins it, where the configuration says so. From then on nothing goes anywhere until an order has been heard.
-func (d *generation) settles() error {
+func (d *generation) startConsensus() error {
 	s := d.config.Consensus()
-	if s == nil || d.settling != nil {
+	if s == nil || d.consensus != nil {
 		return nil
 	}
-	x := &settling{d: d, events: make(chan func(), 1024), ended: make(chan struct{}), open: map[string]int{}, waiting: map[uint64]chan consensus.OperatorReply{}}
+	x := &consensusMember{generation: d, events: make(chan func(), 1024), done: make(chan struct{}), open: map[string]int{}, replies: map[uint64]chan consensus.OperatorReply{}}
 	var disk consensus.LogStore
 	if path := d.config.Work.State; path != "" {
 		var err error
@@ -58,7 +58,7 @@
 			disk = x.file
 		}
 	}
-	node, err := consensus.New(d.clk.Now(), *s, rand.Uint64(), disk)
+	node, err := consensus.New(d.clock.Now(), *s, rand.Uint64(), disk)
 	if node == nil {
 		return err
 	}
@@ -66,87 +66,87 @@
 		d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
 	}
 	x.node = node
-	node.SetSources(x.look, func(name string) int { return x.open[name] })
-	x.obeyed = engine.MaintenancePlan{AwaitingPlan: true}
-	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
-		x.obeyed = *o
+	node.SetSources(x.machineFacts, func(name string) int { return x.open[name] })
+	x.applied = engine.MaintenancePlan{AwaitingPlan: true}
+	if o := d.inheritedPlan; o != nil { // the process whose place this one takes has heard one
+		x.applied = *o
 		node.PlanFollower().Inherit(maintenance.Plan{Excluded: o.Stopped, Announced: o.Announced}, o.LeaseEnd)
 	}
-	d.core.ApplyMaintenancePlan(x.obeyed)
+	d.core.ApplyMaintenancePlan(x.applied)
 	var ctx context.Context
-	ctx, x.stop = context.WithCancel(context.Background())
-	d.settling = x
+	ctx, x.cancel = context.WithCancel(context.Background())
+	d.consensus = x
 	go x.run(ctx)
 	return nil
 }
 
 // unsettles ends it, and returns what is obeyed: it is obeyed on here until it holds no more.
-func (d *generation) unsettles() (o *engine.MaintenancePlan) {
-	if x := d.settling; x != nil {
-		x.stop()
-		<-x.ended
+func (d *generation) stopConsensus() (o *engine.MaintenancePlan) {
+	if x := d.consensus; x != nil {
+		x.cancel()
+		<-x.done
 		if x.file != nil {
 			x.file.Close()
 		}
-		d.settling = nil
-		if !x.obeyed.AwaitingPlan {
-			o = &x.obeyed
-			d.inherited = o // should nobody take this process's place, it goes on
+		d.consensus = nil
+		if !x.applied.AwaitingPlan {
+			o = &x.applied
+			d.inheritedPlan = o // should nobody take this process's place, it goes on
 		}
 	}
 	return o
 }
 
 // hear takes a word in. It never waits: what is too much is lost, as on any way.
-func (x *settling) hear(from string, w consensus.Message) {
+func (x *consensusMember) receive(from string, w consensus.Message) {
 	select {
-	case x.events <- func() { x.node.Receive(x.d.clk.Now(), from, w) }:
+	case x.events <- func() { x.node.Receive(x.generation.clock.Now(), from, w) }:
 	default:
 	}
 }
 
-func (x *settling) run(ctx context.Context) {
-	defer close(x.ended)
-	turn := time.NewTicker(turnEvery)
+func (x *consensusMember) run(ctx context.Context) {
+	defer close(x.done)
+	turn := time.NewTicker(tickInterval)
 	defer turn.Stop()
 	for {
 		select {
 		case event := <-x.events:
 			event()
 		case <-turn.C:
-			if now := x.d.clk.Now(); now >= x.node.NextTick() {
-				x.stand(now)
+			if now := x.generation.clock.Now(); now >= x.node.NextTick() {
+				x.observeMachines(now)
 				x.node.Tick(now)
 			}
 		case <-ctx.Done():
 			return
 		}
-		x.after()
+		x.publish()
 	}
 }
 
 // stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
-func (x *settling) stand(now clock.Micros64) {
+func (x *consensusMember) observeMachines(now clock.Micros64) {
 	order, _, _ := x.node.PlanFollower().CurrentPlan()
 	names := append(append([]string(nil), order.Excluded...), order.Announced...)
-	if len(names) == 0 && now < x.factsAt+lookEvery {
+	if len(names) == 0 && now < x.factsTime+observeInterval {
 		return
 	}
-	f, open := x.d.core.MaintenanceStatus(names)
-	x.open, x.factsAt = open, now
+	f, open := x.generation.core.MaintenanceStatus(names)
+	x.open, x.factsTime = open, now
 	round := func(v float64) float64 { return math.Round(v*20) / 20 } // what hardly changes is not logged
-	if f.Usage > x.peak || now >= x.peakAt+peakFor {
-		x.peak, x.peakAt = f.Usage, now
+	if f.Usage > x.peak || now >= x.peakTime+peakWindow {
+		x.peak, x.peakTime = f.Usage, now
 	}
 	f.Usage, f.PeakUsage = round(f.Usage), round(x.peak)
 	x.facts = f
 }
 
-func (x *settling) look() maintenance.FleetStatus { return x.facts }
+func (x *consensusMember) machineFacts() maintenance.FleetStatus { return x.facts }
 
 // after carries words, has the core obey, and hands answers to who waits for them.
-func (x *settling) after() {
-	p := x.d.peers.Load()
+func (x *consensusMember) publish() {
+	p := x.generation.gossip.Load()
 	for _, o := range x.node.TakeOutgoing() {
 		if p != nil {
 			p.SendConsensus(o.To, o.Message)
@@ -154,39 +154,39 @@
 	}
 	order, until, end := x.node.PlanFollower().CurrentPlan()
 	o := engine.MaintenancePlan{AwaitingPlan: !x.node.PlanFollower().HasPlan(), Stopped: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
-	if fmt.Sprint(o) != fmt.Sprint(x.obeyed) {
-		if fmt.Sprint(o.Stopped) != fmt.Sprint(x.obeyed.Stopped) {
-			x.d.log.Info("machines out for work", "out", o.Stopped, "next in line", o.Announced)
+	if fmt.Sprint(o) != fmt.Sprint(x.applied) {
+		if fmt.Sprint(o.Stopped) != fmt.Sprint(x.applied.Stopped) {
+			x.generation.log.Info("machines out for work", "out", o.Stopped, "next in line", o.Announced)
 		}
-		x.obeyed = o
-		x.d.core.ApplyMaintenancePlan(o)
+		x.applied = o
+		x.generation.core.ApplyMaintenancePlan(o)
 	}
-	for number, c := range x.waiting {
+	for number, c := range x.replies {
 		if r, ok := x.node.TakeReply(number); ok {
 			c <- r
-			delete(x.waiting, number)
+			delete(x.replies, number)
 		}
 	}
-	if x.node.LogMissing() && x.node.PlanFollower().HasPlan() && !x.warned {
-		x.warned = true
-		x.d.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
+	if x.node.LogMissing() && x.node.PlanFollower().HasPlan() && !x.voteLossLogged {
+		x.voteLossLogged = true
+		x.generation.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
 	}
-	if err := x.node.VoterError(); err != nil && !x.warned {
-		x.warned = true
-		x.d.log.Error("this instance has no vote in the order of machines out any more; it obeys", "error", err)
+	if err := x.node.VoterError(); err != nil && !x.voteLossLogged {
+		x.voteLossLogged = true
+		x.generation.log.Error("this instance has no vote in the order of machines out any more; it obeys", "error", err)
 	}
 }
 
 // errLeaderless is of an order that nobody settles just now.
-var errLeaderless = errors.New("nobody leads in settling the order just now; say it again")
+var errNoLeader = errors.New("nobody leads in settling the order just now; say it again")
 
 // say says something for an operator, and waits for its answer.
-func (x *settling) say(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.OperatorReply, error) {
+func (x *consensusMember) propose(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.OperatorReply, error) {
 	answer := make(chan consensus.OperatorReply, 1)
 	select {
-	case x.events <- func() { x.waiting[put(x.d.clk.Now())] = answer }:
+	case x.events <- func() { x.replies[put(x.generation.clock.Now())] = answer }:
 	case <-ctx.Done():
-		return consensus.OperatorReply{}, errLeaderless
+		return consensus.OperatorReply{}, errNoLeader
 	}
 	select {
 	case r := <-answer:
@@ -194,26 +194,26 @@
 			return r, errors.New(r.Error)
 		}
 		return r, nil
-	case <-x.ended:
+	case <-x.done:
 	case <-ctx.Done():
 		select {
 		case x.events <- func() {
-			maps.DeleteFunc(x.waiting, func(_ uint64, c chan consensus.OperatorReply) bool { return c == answer })
+			maps.DeleteFunc(x.replies, func(_ uint64, c chan consensus.OperatorReply) bool { return c == answer })
 		}:
 		default:
 		}
 	}
-	return consensus.OperatorReply{}, errLeaderless
+	return consensus.OperatorReply{}, errNoLeader
 }
 
 // work answers an operator's call: an order in JSON, or a look at how all stands without one.
 func (d *generation) work(ctx context.Context, body []byte) ([]byte, error) {
-	x := d.settling
+	x := d.consensus
 	if x == nil {
 		return nil, errors.New("work.on is false here, or this process does not serve")
 	}
 	if len(body) == 0 {
-		r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.RequestView(now) })
+		r, err := x.propose(ctx, func(now clock.Micros64) uint64 { return x.node.RequestView(now) })
 		if err != nil {
 			return nil, err
 		}
@@ -224,6 +224,6 @@
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
 	order = maintenance.Command{Request: order.Request, CancelRequest: order.CancelRequest, Complete: order.Complete, Hold: order.Hold, Forget: order.Forget} // an operator says no more
-	r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Submit(now, order) })
+	r, err := x.propose(ctx, func(now clock.Micros64) uint64 { return x.node.Submit(now, order) })
 	return []byte(r.Answer), err
 }
