--- a/cmd/dunlinlab/faults.go
+++ b/cmd/dunlinlab/faults.go
@@ -99,7 +99,7 @@
 		if f.Kept != "" {
 			fmt.Fprintf(w, "    its evidence is in %s\n", f.Kept)
 		}
-		w.Flush()
+		_ = w.Flush() // its error comes again with the last Flush, in main
 	}
 	return failed, nil
 }
--- a/cmd/dunlinlab/main.go
+++ b/cmd/dunlinlab/main.go
@@ -32,7 +32,6 @@
 // out is where answers go; what is said beside them goes to standard error.
 type out struct {
 	*bufio.Writer
-	quiet bool
 }
 
 type commands struct {
--- a/cmd/dunlinlab/real.go
+++ b/cmd/dunlinlab/real.go
@@ -85,7 +85,7 @@
 		if err := t.Flush(); err != nil {
 			return err
 		}
-		w.Flush()
+		_ = w.Flush() // its error comes again with the last Flush, in main
 	}
 	if !c.JSON {
 		fmt.Fprintf(w, "in all %d of %d\n", inside, all)
--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -115,7 +115,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		r.Store, done = s, func() { s.Close() }
+		r.Store, done = s, func() { _ = s.Close() } // each run was committed as it ended
 	}
 	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 && !k.Quiet {
 		began, last := time.Now(), time.Time{}
@@ -298,7 +298,7 @@
 		all = append(all, got)
 		if !c.JSON {
 			fmt.Fprintln(w, got.Line())
-			w.Flush()
+			_ = w.Flush() // its error comes again with the last Flush, in main
 		}
 	}
 	if err := report(c.Report, all...); err != nil {
@@ -383,7 +383,7 @@
 			fmt.Fprintf(w, "%-20s %-28s %-12s %.4g, margin %.3g ± %.2g\n", s.Name, j.Claim, j.Verdict, j.Left, j.Margin.Mean, j.Margin.Half())
 			failed = failed || j.Verdict == claim.Fails
 		}
-		w.Flush()
+		_ = w.Flush() // its error comes again with the last Flush, in main
 	}
 	if failed {
 		return errFailed
--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -63,7 +63,9 @@
 		n := float64(c.Seeds)
 		fmt.Fprintf(table, "%s\t%d\t%d\t%.2f to %.2f\t%.1f\t%.0f\t%.0f\t%.0f\n", name, t.worst, t.beyond, t.use[0], t.use[len(t.use)-1], t.words/n, t.size/n, t.book/n, t.load/n)
 	}
-	table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
 	switch {
 	case beyond > 0 && c.Plant != "":
 		fmt.Fprintln(w, "the planted error is found")
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -176,7 +177,7 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	kept := &http.Client{Transport: &http.Transport{Dial: func(string, string) (net.Conn, error) { return nc, nil }}}
+	kept := &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return nc, nil }}}
 	serves := func(what string) {
 		t.Helper()
 		for end := time.Now().Add(scriptedpeer.Soon); ; {
@@ -198,12 +199,18 @@
 	}
 	serves("at first")
 	silent := scripteddiscovery.New(t)
+	write := func(content string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for what, spoil := range map[string]func(){
 		"a file that cannot be read":  func() { os.Remove(path) },
-		"a file that makes no sense":  func() { os.WriteFile(path, []byte("[listener"), 0o600) },
-		"one that does not get ready": func() { os.WriteFile(path, []byte(strings.Replace(text, r.Addr, silent.Addr, 1)), 0o600) },
+		"a file that makes no sense":  func() { write("[listener") },
+		"one that does not get ready": func() { write(strings.Replace(text, r.Addr, silent.Addr, 1)) },
 		"a listener that cannot be had": func() {
-			os.WriteFile(path, []byte(text+"[[listener]]\nname = \"x\"\naddress = \""+r.Addr+"\"\nclient = \"desk\"\n"), 0o600)
+			write(text + "[[listener]]\nname = \"x\"\naddress = \"" + r.Addr + "\"\nclient = \"desk\"\n")
 		},
 	} {
 		spoil()
@@ -214,7 +221,7 @@
 			t.Fatal(err)
 		}
 		// Before the next spoils the file: one that has moved to a discovery that is silent hands on what it knows of it.
-		scriptedpeer.Within(t, read, "a file read again")
+		_ = scriptedpeer.Within(t, read, "a file read again") // refused or not
 		serves(what)
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -72,7 +72,7 @@
 		}
 		defer func() {
 			o.cmd.Process.Kill()
-			o.cmd.Wait()
+			_ = o.cmd.Wait() // killed
 		}()
 		if line, err := bufio.NewReader(out).ReadString('\n'); err != nil || line != "serving\n" {
 			t.Fatalf("%s: %q, %v", name, line, err)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,7 +62,7 @@
 // stop ends the program and returns the processor time that it took.
 func (p *process) stop() time.Duration {
 	p.cmd.Process.Signal(syscall.SIGTERM)
-	p.cmd.Wait()
+	_ = p.cmd.Wait() // what it took counts however it ended
 	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
 }
 
--- a/internal/bench/idle.go
+++ b/internal/bench/idle.go
@@ -45,7 +45,9 @@
 				if err != nil {
 					return all, err
 				}
-				io.Copy(io.Discard, resp.Body)
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					return all, err
+				}
 			}
 			return all, nil
 		}
--- a/internal/bench/proxy.go
+++ b/internal/bench/proxy.go
@@ -32,7 +32,7 @@
 		<-ctx.Done()
 		end, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		s.Shutdown(end)
+		_ = s.Shutdown(end) // what is open after that is cut by the process's end
 	}()
 	if err := s.ListenAndServe(); err != http.ErrServerClosed {
 		return err
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -106,7 +106,7 @@
 		}
 		resp, err := c.Get("http://" + desk + "/metrics")
 		if err == nil {
-			io.Copy(io.Discard, resp.Body)
+			_, _ = io.Copy(io.Discard, resp.Body) // only how long it takes counts
 			resp.Body.Close()
 			word := [...]string{"disable", "enable"}[n%2]
 			resp, err = c.Post("http://"+desk+"/endpoints/"+word, "application/json", strings.NewReader(`{"target":"s-0"}`))
--- a/internal/fake/discoveryserver/roster.go
+++ b/internal/fake/discoveryserver/roster.go
@@ -110,7 +110,7 @@
 		after = v
 	}
 	watch := r.FormValue("watch") == "1"
-	flush := http.NewResponseController(w).Flush
+	controller := http.NewResponseController(w)
 	first := true
 	for {
 		l, silent, news := s.since(after)
@@ -122,7 +122,7 @@
 			if _, err := w.Write(append(text, '\n')); err != nil || !watch {
 				return
 			}
-			flush()
+			controller.Flush()
 			after, first = l.Generation, false
 		}
 		beat := time.NewTimer(heartbeat)
@@ -131,8 +131,8 @@
 			beat.Stop()
 		case <-beat.C:
 			if !silent && watch {
-				io.WriteString(w, "\n")
-				flush()
+				_, _ = io.WriteString(w, "\n") // a client that has gone ends the request's context
+				controller.Flush()
 			}
 		case <-r.Context().Done():
 			beat.Stop()
--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -168,7 +168,7 @@
 		s.probed++
 		text := fmt.Sprintf("TEXT inflight=%d, queue=%d", s.working+s.waiting, s.waiting)
 		s.mu.Unlock()
-		io.WriteString(w, text)
+		_, _ = io.WriteString(w, text) // a client that has gone needs none
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -208,7 +208,7 @@
 	if fault == Conflict {
 		w.WriteHeader(http.StatusConflict)
 	}
-	io.WriteString(w, answer)
+	_, _ = io.WriteString(w, answer) // a client that has gone needs none
 }
 
 func (s *Server) enter(r *http.Request) (fault Fault, turnedAway bool) {
--- a/internal/fake/scripteddiscovery/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -43,7 +43,7 @@
 				if line == "" {
 					return
 				}
-				io.WriteString(w, line+"\n")
+				_, _ = io.WriteString(w, line+"\n") // a client that has gone ends the request's context
 				http.NewResponseController(w).Flush()
 			case <-ctx.Done():
 				return
--- a/internal/fake/webapp/app.go
+++ b/internal/fake/webapp/app.go
@@ -194,7 +194,9 @@
 	}
 	rc := http.NewResponseController(w)
 	if p.Early {
-		rc.EnableFullDuplex()
+		if err := rc.EnableFullDuplex(); err != nil {
+			panic(err) // HTTP/1.1 of net/http has it
+		}
 	}
 	if p.Pieces == 0 && len(p.Trailer) == 0 && p.Status != http.StatusNoContent && p.Status != http.StatusNotModified {
 		w.Header().Set("Content-Length", fmt.Sprint(p.Body))
@@ -218,7 +220,7 @@
 	}
 	if p.Early {
 		rc.Flush()
-		io.Copy(io.Discard, r.Body)
+		_, _ = io.Copy(io.Discard, r.Body) // the answer is out whatever becomes of the rest
 	}
 }
 
@@ -257,11 +259,11 @@
 	} else {
 		h.Set("Connection", "close")
 	}
-	h.Write(rw)
-	rw.WriteString("\r\n")
+	_ = h.Write(rw) // errors of a buffered connection come with Flush, and end the answer as planned or earlier
+	_, _ = rw.WriteString("\r\n")
 	if p.Break > 0 {
-		Bytes(rw, min(p.Break, p.Body))
-		rw.Flush()
+		_ = Bytes(rw, min(p.Break, p.Body))
+		_ = rw.Flush()
 		if tcp, ok := c.(*net.TCPConn); ok {
 			time.Sleep(20 * time.Millisecond) // a reset takes back what has not been read
 			tcp.SetLinger(0)
@@ -269,8 +271,8 @@
 		return
 	}
 	for _, n := range p.Parts() {
-		Bytes(rw, n)
-		rw.Flush()
+		_ = Bytes(rw, n)
+		_ = rw.Flush()
 	}
 }
 
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -315,7 +315,7 @@
 		if bufio.NewScanner(serving).Scan() {
 			close(word)
 		}
-		io.Copy(io.Discard, serving)
+		_, _ = io.Copy(io.Discard, serving) // until the daemon ends
 	}()
 	select {
 	case <-word:
@@ -393,7 +393,7 @@
 	o.OnDone = func(r client.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		lines.Encode(r)
+		_ = lines.Encode(r) // whoever reads has gone: the playground ends
 	}
 	client.New(o).Run(stop)
 	return nil
@@ -496,7 +496,7 @@
 		n.served = served
 	}
 	b.WriteString("\n" + strings.Join(p.events, "\n") + "\n")
-	io.WriteString(p.o.Out, b.String())
+	_, _ = io.WriteString(p.o.Out, b.String()) // for people; the playground goes on without them
 }
 
 func (f *figures) line(w io.Writer, name string) {
