Test of what decisions may import: named steps, and the package of instants under the same rule

The list of allowed imports and the parsing of go list stood in one function with short names. The check is as strict, and also covers internal/monotime, which decision packages import since the type of instants stands there.

go test ./internal/decide: ok; with time and rand.IntN imported in zones, and os in monotime, it fails and names them.

--- a/internal/decide/imports_test.go
+++ b/internal/decide/imports_test.go
@@ -1,4 +1,4 @@
-// Package decide holds nothing itself: each package below it decides one matter, free of I/O.
+// Package decide has no code of its own: each package below it takes the decisions of one matter, free of I/O.
 package decide
 
 import (
@@ -12,53 +12,95 @@
 	"testing"
 )
 
-// pure are the packages of the standard library that a decision may use, and the type of its instants: none reads a clock or does I/O of its own
-// accord. Of math/rand/v2 only what is seeded may be used.
-var pure = []string{"dunlinsail/internal/monotime", "cmp", "bytes", "container/heap", "container/list", "errors", "fmt", "iter", "maps", "math", "math/bits",
-	"math/rand/v2", "slices", "sort", "strconv", "strings", "unicode/utf8"}
+const (
+	decidePrefix = "dunlinsail/internal/decide/"
+	enginePath   = "dunlinsail/internal/engine"
+)
+
+// pureImports are the packages that a decision package may import, beside other decision packages: the type of its
+// instants, and what of the standard library neither reads a clock nor does I/O of its own accord. Of math/rand/v2 only
+// seededNames may be used.
+var pureImports = []string{
+	"dunlinsail/internal/monotime",
+	"bytes", "cmp", "container/heap", "container/list", "errors", "fmt", "iter", "maps", "math", "math/bits",
+	"math/rand/v2", "slices", "sort", "strconv", "strings", "unicode/utf8",
+}
 
-// seeded are the names of math/rand/v2 that draw from a source with a seed.
-var seeded = []string{"New", "NewPCG", "NewZipf", "PCG", "Rand", "Source", "Zipf"}
+// engineImports are the packages that the engine may import beside pureImports.
+var engineImports = []string{"hash/fnv", "sync/atomic", "dunlinsail/balancer", "dunlinsail/internal/siteconfig"}
+
+// seededNames are the names of math/rand/v2 that draw from a source with a seed.
+var seededNames = []string{"New", "NewPCG", "NewZipf", "PCG", "Rand", "Source", "Zipf"}
+
+// listedPackage is a package as go list prints it.
+type listedPackage struct {
+	path    string
+	dir     string
+	files   []string // without tests
+	imports []string
+}
 
-// Time and chance are passed in, and what is decided is carried out by others.
+// Time and randomness are parameters of a decision, and its caller carries it out: neither the decision
+// packages, nor the engine, nor the package of their instants can do I/O or read a clock.
 func TestDecisionsArePure(t *testing.T) {
-	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}} {{.Dir}} {{join .GoFiles ","}} {{join .Imports " "}}`, "./...", "../engine").Output()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(out)) {
-		words := strings.Fields(line)
-		if len(words) < 3 {
-			continue // no files but tests
-		}
-		allowed := pure
-		if words[0] == "dunlinsail/internal/engine" {
-			allowed = append(slices.Clone(pure), "hash/fnv", "sync/atomic", "dunlinsail/balancer", "dunlinsail/internal/siteconfig")
+	packages := listPackages(t, "./...", "../engine", "../monotime")
+	for _, p := range packages {
+		allowed := pureImports
+		if p.path == enginePath {
+			allowed = append(slices.Clone(pureImports), engineImports...)
 		}
-		for _, used := range words[3:] {
-			if !slices.Contains(allowed, used) && !strings.HasPrefix(used, "dunlinsail/internal/decide/") {
-				t.Errorf("%s imports %s", words[0], used)
+		for _, imported := range p.imports {
+			if !slices.Contains(allowed, imported) && !strings.HasPrefix(imported, decidePrefix) {
+				t.Errorf("%s imports %s", p.path, imported)
 			}
 		}
-		for file := range strings.SplitSeq(words[2], ",") {
-			for _, drawn := range unseeded(t, filepath.Join(words[1], file)) {
-				t.Errorf("%s: %s uses rand.%s, which no seed determines", words[0], file, drawn)
+		for _, file := range p.files {
+			for _, name := range unseededNames(t, filepath.Join(p.dir, file)) {
+				t.Errorf("%s: %s uses rand.%s, which no seed determines", p.path, file, name)
 			}
 		}
 	}
 }
 
-// unseeded returns what a file uses of math/rand/v2 beyond what is seeded.
-func unseeded(t *testing.T, path string) (names []string) {
-	f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+// listPackages returns the packages of patterns that have files beside tests.
+func listPackages(t *testing.T, patterns ...string) []listedPackage {
+	t.Helper()
+	const format = `{{.ImportPath}} {{.Dir}} {{join .GoFiles ","}} {{join .Imports " "}}`
+	out, err := exec.Command("go", append([]string{"list", "-f", format}, patterns...)...).Output()
 	if err != nil {
 		t.Fatal(err)
 	}
-	ast.Inspect(f, func(n ast.Node) bool {
-		if s, ok := n.(*ast.SelectorExpr); ok {
-			if x, ok := s.X.(*ast.Ident); ok && x.Name == "rand" && !slices.Contains(seeded, s.Sel.Name) {
-				names = append(names, s.Sel.Name)
-			}
+	var packages []listedPackage
+	for line := range strings.Lines(string(out)) {
+		fields := strings.Fields(line)
+		if len(fields) < 3 {
+			continue // test files only
+		}
+		packages = append(packages, listedPackage{
+			path:    fields[0],
+			dir:     fields[1],
+			files:   strings.Split(fields[2], ","),
+			imports: fields[3:],
+		})
+	}
+	return packages
+}
+
+// unseededNames returns the names of math/rand/v2 in a file that are not in seededNames.
+func unseededNames(t *testing.T, path string) (names []string) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		selector, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		qualifier, ok := selector.X.(*ast.Ident)
+		if ok && qualifier.Name == "rand" && !slices.Contains(seededNames, selector.Sel.Name) {
+			names = append(names, selector.Sel.Name)
 		}
 		return true
 	})
