--- a/.ci/simwire/main.go
+++ b/.ci/simwire/main.go
@@ -1,7 +1,7 @@
 // Command simwire records a scripted input for bin/simhost, and sums up simhost's answers to a recorded input.
 //
-//	simwire record PROGRAM SEED >INPUT     plays seeded clients and endpoints against PROGRAM and writes what it was sent
-//	simwire digest [TEXT] <ANSWERS         writes counts and SHA-256 sums of the answers; all actions as text into TEXT
+//	simwire record PROGRAM SEED >INPUT   plays seeded clients and endpoints against PROGRAM, writes its input
+//	simwire digest [TEXT] <ANSWERS       writes counts and SHA-256 sums of the answers; all actions into TEXT
 //
 // The script needs nothing of the balancer's packages, so that it stays the same while their names change: it writes
 // the records of the simulator's wire byte by byte. See .ci/decisions.
--- a/.ci/simwire/script.go
+++ b/.ci/simwire/script.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"container/heap"
 	"encoding/binary"
-	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -20,6 +19,7 @@
 	scriptLength  = 32 * second
 	instances     = 4
 	endpointCount = 14
+	firstEndpoint = 100 // number of an endpoint
 	classCount    = 5
 	tenantCount   = 3
 	startTime     = 5 * second
@@ -38,100 +38,14 @@
 	{giveUp: 3 * second, stream: true},
 }
 
-// settings returns the config text of an instance of the script with this seed. Odd seeds have load reports with each
-// answer and discovery that sends by itself; even ones have probes and a subscription.
-func settings(seed uint64, instance uint32) string {
-	how, discovery, value, tick := "answers", "automatic", "request", 0
-	if seed%2 == 0 {
-		how, discovery, value, tick = "probe", "subscribe", "work", 1000
-	}
-	return fmt.Sprintf(`peers-total=%d
-position=%d
-zone=%d
-areas=a,b,c
-skus=std,big
-discovery=%s
-tick=%d
-value-by=%s
-over-share-worth=0.4
-limits.cancel=true
-limits.probes=true
-limits.second-copies=%t
-limits.retry-after=true
-limits.most-tries=3
-limits.most-held=400
-limits.max-retry-after=5000000
-contract.drain-grace=500000
-contract.cold-from=0.2
-contract.ramp-time=4000000
-contract.fall-multiple=2
-contract.overload-for=1000000
-contract.ask-within=3000000
-contract.answer-slack=1000
-prices.cross-zone=0.02
-prices.probe=0.001
-prices.waste=0.1
-prices.late-fail=0.2
-goal.whole=0.5
-goal.worst-window=0.2
-goal.worst-class=0.2
-goal.worst-tenant=0.1
-reporting.how=%s
-reporting.fields=busy_reqs,pending,cpu_share,svc_ms,served_ps,failed_ps
-classes.count=%d
-classes.0.name=read
-classes.0.repeat=pure
-classes.0.target=120000
-classes.0.give-up=900000
-classes.0.credit=1
-classes.0.late-value=0.5
-classes.1.name=book
-classes.1.repeat=token
-classes.1.group=zone
-classes.1.window=10000000
-classes.1.target=250000
-classes.1.give-up=1200000
-classes.1.credit=8
-classes.1.late-value=0.2
-classes.2.name=pay
-classes.2.repeat=token
-classes.2.group=cell
-classes.2.window=3000000
-classes.2.target=400000
-classes.2.give-up=2000000
-classes.2.credit=3
-classes.3.name=write
-classes.3.repeat=side_effect
-classes.3.target=200000
-classes.3.give-up=1500000
-classes.3.credit=2
-classes.4.name=stream
-classes.4.repeat=pure
-classes.4.target=300000
-classes.4.give-up=3000000
-classes.4.credit=0.5
-classes.4.late-value=0.9
-classes.4.stream=true
-tenants.count=%d
-tenants.0.name=north
-tenants.0.allowance-per-s=200
-tenants.0.share=0.5
-tenants.1.name=south
-tenants.1.allowance-per-s=60
-tenants.1.share=0.3
-tenants.2.name=other
-tenants.2.share=0.2
-`, instances, instance, instance%3, discovery, tick, value, seed%3 != 0, how, classCount, tenantCount)
-}
-
 // event is one record that is due for an instance.
 type event struct {
-	at       int64
-	order    int // of events due at one instant
-	instance uint32
-	life     int // the event is dropped where the instance has been started anew since; 0 is of no life
-	records  [][]byte
-	then     func()
+	at          int64
+	order       int // of events due at one instant
+	instance    uint32
+	incarnation int // the event is dropped where the instance has been restarted since; 0 is any incarnation
+	records     [][]byte
+	afterwards  func()
 }
 
 type events []*event
@@ -182,15 +96,15 @@
 
 // script is the world that simhost is played against. All randomness comes from one seeded source.
 type script struct {
-	seed      uint64
-	rand      *rand.Rand
-	now       int64
-	queue     events
-	order     int
-	lives     [instances]int
-	endpoints []*endpoint
-	requests  map[openKey]*request
-	nextID    uint64
+	seed         uint64
+	rand         *rand.Rand
+	now          int64
+	queue        events
+	order        int
+	incarnations [instances]int
+	endpoints    []*endpoint
+	requests     map[openKey]*request
+	nextID       uint64
 }
 
 // record plays the script of a seed against a program and writes all input that the program was given.
@@ -208,7 +122,12 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	s := &script{seed: seed, rand: rand.New(rand.NewPCG(seed, 2)), now: startTime, requests: map[openKey]*request{}}
+	s := &script{
+		seed:     seed,
+		rand:     rand.New(rand.NewPCG(seed, 2)),
+		now:      startTime,
+		requests: map[openKey]*request{},
+	}
 	file := bufio.NewWriter(out)
 	if err := s.play(io.MultiWriter(file, stdin), bufio.NewReader(stdout)); err != nil {
 		return err
@@ -231,7 +150,7 @@
 		current := int64(-1)
 		for len(s.queue) > 0 && s.queue[0].at <= s.now+s.tick() {
 			e := heap.Pop(&s.queue).(*event)
-			if e.life != 0 && e.life != s.lives[e.instance] {
+			if e.incarnation != 0 && e.incarnation != s.incarnations[e.instance] {
 				continue
 			}
 			if current != int64(e.instance) {
@@ -241,8 +160,8 @@
 			for _, r := range e.records {
 				body.Write(r)
 			}
-			if e.then != nil {
-				then = append(then, e.then)
+			if e.afterwards != nil {
+				then = append(then, e.afterwards)
 			}
 		}
 		frame := binary.BigEndian.AppendUint32(nil, batch)
@@ -271,19 +190,23 @@
 	return 50
 }
 
-func (s *script) add(delay int64, instance uint32, life int, then func(), records ...[]byte) {
+func (s *script) add(delay int64, instance uint32, incarnation int, afterwards func(), records ...[]byte) {
 	s.order++
-	e := &event{at: s.now + max(delay, 0), order: s.order, instance: instance, life: life, records: records, then: then}
+	at := s.now + max(delay, 0)
+	e := &event{at: at, order: s.order, instance: instance, incarnation: incarnation, records: records,
+		afterwards: afterwards}
 	heap.Push(&s.queue, e)
 }
 
 func (s *script) setUp() {
 	for i := range endpointCount {
-		s.endpoints = append(s.endpoints, &endpoint{id: uint32(100 + i), zone: uint8(i % 3), kind: uint8(i % 2), cell: uint16(i % 4)})
+		e := &endpoint{id: uint32(firstEndpoint + i), zone: uint8(i % 3), kind: uint8(i % 2), cell: uint16(i % 4)}
+		s.endpoints = append(s.endpoints, e)
 	}
 	for i := range uint32(instances) {
-		s.lives[i] = 1
-		s.add(0, i, 0, nil, rec(codeBegin, s.seed*10+uint64(i), uint32(len(settings(s.seed, i))), settings(s.seed, i)))
+		s.incarnations[i] = 1
+		text := settings(s.seed, i)
+		s.add(0, i, 0, nil, rec(codeBegin, s.seed*10+uint64(i), uint32(len(text)), text))
 		s.list(int64(i)*20*millisecond, i, 4)
 		s.clients(i)
 	}
@@ -299,7 +222,8 @@
 	}
 	fields := []any{number, uint32(len(chosen))}
 	for _, e := range chosen {
-		fields = append(fields, e.id, e.zone, e.kind, e.cell, e.state, float32(1)/float32(len(s.endpoints)), uint64(e.start))
+		share := float32(1) / float32(len(s.endpoints))
+		fields = append(fields, e.id, e.zone, e.kind, e.cell, e.state, share, uint64(e.start))
 	}
 	s.add(delay, instance, 0, nil, rec(codeManifest, fields...), rec(codeMembership, uint32(s.order), number, kind))
 }
@@ -344,12 +268,15 @@
 	k := openKey{instance, id}
 	s.requests[k] = &request{class: class}
 	giveUp := classes[class].giveUp
-	life := s.lives[instance]
-	s.add(delay+giveUp, instance, life, func() { delete(s.requests, k) }, rec(codeCancelledByClient, id))
+	incarnation := s.incarnations[instance]
+	forget := func() { delete(s.requests, k) }
+	s.add(delay+giveUp, instance, incarnation, forget, rec(codeCancelledByClient, id))
 	if s.rand.IntN(40) == 0 {
-		s.add(delay+int64(s.rand.IntN(60))*millisecond, instance, life, nil, rec(codeCancelledByClient, id))
+		s.add(delay+int64(s.rand.IntN(60))*millisecond, instance, incarnation, nil, rec(codeCancelledByClient, id))
 	}
-	return [][]byte{rec(codeRequest, id, key, uint64(s.now+delay+giveUp), hint, opts, uint16(s.rand.IntN(tenantCount)), uint8(class))}
+	deadline := uint64(s.now + delay + giveUp)
+	tenant := uint16(s.rand.IntN(tenantCount))
+	return [][]byte{rec(codeRequest, id, key, deadline, hint, opts, tenant, uint8(class))}
 }
 
 // changes has endpoints and instances come and go, and strange things be said.
@@ -387,7 +314,9 @@
 		s.add(0, instance, 0, nil, rec(codeStop), rec(codeBegin, uint64(1), uint32(len(bad)), bad))
 		s.restart(instance)
 	case 9:
-		s.add(0, instance, 0, nil, rec(codeAnswer, s.nextID+1_000_000, uint16(0), e.id, uint16(200), uint32(900), uint8(1), uint8(0)))
+		unknown := s.nextID + 1_000_000
+		s.add(0, instance, 0, nil,
+			rec(codeAnswer, unknown, uint16(0), e.id, uint16(200), uint32(900), uint8(1), uint8(0)))
 		s.add(0, instance, 0, nil, rec(codeTimeoutFired, uint32(4_000_000_000)))
 	case 10:
 		nan := float32(math.NaN())
@@ -395,11 +324,12 @@
 	case 11:
 		everybody(0)
 	}
-	s.add(int64(200+s.rand.IntN(600))*millisecond, instance, 0, s.changes, rec(codeHealthResult, e.id, uint16(504), uint32(250_000), uint8(0)))
+	s.add(int64(200+s.rand.IntN(600))*millisecond, instance, 0, s.changes,
+		rec(codeHealthResult, e.id, uint16(504), uint32(250_000), uint8(0)))
 }
 
 func (s *script) restart(instance uint32) {
-	s.lives[instance]++
+	s.incarnations[instance]++
 	for k := range s.requests {
 		if k.instance == instance {
 			delete(s.requests, k)
@@ -427,7 +357,8 @@
 			s.revoke(instance, binary.BigEndian.Uint64(a.fields), int(binary.BigEndian.Uint16(a.fields[8:])))
 		case codeArm:
 			delay := int64(binary.BigEndian.Uint32(a.fields))
-			s.add(delay, instance, s.lives[instance], nil, rec(codeTimeoutFired, binary.BigEndian.Uint32(a.fields[4:])))
+			token := binary.BigEndian.Uint32(a.fields[4:])
+			s.add(delay, instance, s.incarnations[instance], nil, rec(codeTimeoutFired, token))
 		case codeSoundOut:
 			s.probe(instance, binary.BigEndian.Uint32(a.fields))
 		case codeListAll:
@@ -436,7 +367,7 @@
 	}
 }
 
-func (s *script) endpoint(id uint32) *endpoint { return s.endpoints[int(id-100)] }
+func (s *script) endpoint(id uint32) *endpoint { return s.endpoints[int(id-firstEndpoint)] }
 
 func (s *script) report(e *endpoint) []float32 {
 	busy := float32(e.held)
@@ -464,9 +395,9 @@
 	if r == nil {
 		r = &request{}
 	}
-	try := &attempt{endpoint: endpointID, started: s.now}
+	sent := &attempt{endpoint: endpointID, started: s.now}
 	number := uint16(len(r.attempts))
-	r.attempts = append(r.attempts, try)
+	r.attempts = append(r.attempts, sent)
 	e.held++
 	service := int64((4 + 20*s.rand.ExpFloat64()) * (1 + float64(e.held)/4) * millisecond)
 	status := uint16(200)
@@ -489,32 +420,36 @@
 		status = []uint16{502, 598, 410}[s.rand.IntN(3)]
 		service = 2 * millisecond
 	}
-	life := s.lives[instance]
+	incarnation := s.incarnations[instance]
 	if timeout > 0 && service > timeout {
 		service = timeout
 		status = 504
 	}
 	if classes[r.class].stream && status == 200 {
-		s.add(service/2, instance, life, nil, rec(codeHeaders, id, number, endpointID, uint32(service/2)))
+		s.add(service/2, instance, incarnation, nil, rec(codeHeaders, id, number, endpointID, uint32(service/2)))
 	}
-	s.outcome(service, instance, life, id, number, try, status)
+	s.outcome(service, instance, incarnation, id, number, sent, status)
 }
 
 // outcome has an attempt end after delay, unless it has ended by then.
-func (s *script) outcome(delay int64, instance uint32, life int, id uint64, number uint16, try *attempt, status uint16) {
+func (s *script) outcome(
+	delay int64, instance uint32, incarnation int, id uint64, number uint16, sent *attempt, status uint16,
+) {
 	// What the record says is settled when it is due: the step before it writes it into the queue.
 	s.order++
-	e := &event{at: s.now + delay, order: s.order, instance: instance, life: life}
-	e.then = func() { s.ended(instance, life, id, number, try, status) }
+	e := &event{at: s.now + delay, order: s.order, instance: instance, incarnation: incarnation}
+	e.afterwards = func() { s.ended(instance, incarnation, id, number, sent, status) }
 	heap.Push(&s.queue, e)
 }
 
-func (s *script) ended(instance uint32, life int, id uint64, number uint16, try *attempt, status uint16) {
-	if try.over {
+func (s *script) ended(
+	instance uint32, incarnation int, id uint64, number uint16, sent *attempt, status uint16,
+) {
+	if sent.over {
 		return
 	}
-	try.over = true
-	e := s.endpoint(try.endpoint)
+	sent.over = true
+	e := s.endpoint(sent.endpoint)
 	e.held--
 	k := openKey{instance, id}
 	settled := uint8(0)
@@ -532,8 +467,9 @@
 	if s.seed%2 == 0 || status != 200 {
 		report = nil
 	}
-	s.add(0, instance, life, nil, rec(codeAnswer, id, number, try.endpoint, status, uint32(s.now-try.started), settled,
-		uint8(len(report)), report))
+	latency := uint32(s.now - sent.started)
+	s.add(0, instance, incarnation, nil,
+		rec(codeAnswer, id, number, sent.endpoint, status, latency, settled, uint8(len(report)), report))
 }
 
 func (s *script) revoke(instance uint32, id uint64, number int) {
@@ -541,20 +477,23 @@
 	if r == nil || number >= len(r.attempts) || r.attempts[number].over {
 		return
 	}
-	s.outcome(millisecond, instance, s.lives[instance], id, uint16(number), r.attempts[number], 499)
+	s.outcome(millisecond, instance, s.incarnations[instance], id, uint16(number), r.attempts[number], 499)
 }
 
 func (s *script) probe(instance uint32, endpointID uint32) {
 	e := s.endpoint(endpointID)
-	life := s.lives[instance]
+	incarnation := s.incarnations[instance]
 	switch s.fault(e) {
 	case 3:
-		s.add(200*millisecond, instance, life, nil, rec(codeHealthResult, endpointID, uint16(504), uint32(200*millisecond), uint8(0)))
+		s.add(200*millisecond, instance, incarnation, nil,
+			rec(codeHealthResult, endpointID, uint16(504), uint32(200*millisecond), uint8(0)))
 	case 5:
-		s.add(millisecond, instance, life, nil, rec(codeHealthResult, endpointID, uint16(502), uint32(millisecond), uint8(0)))
+		s.add(millisecond, instance, incarnation, nil,
+			rec(codeHealthResult, endpointID, uint16(502), uint32(millisecond), uint8(0)))
 	default:
 		took := 2*millisecond + int64(s.rand.IntN(3*millisecond))
 		report := s.report(e)
-		s.add(took, instance, life, nil, rec(codeHealthResult, endpointID, uint16(200), uint32(took), uint8(len(report)), report))
+		s.add(took, instance, incarnation, nil,
+			rec(codeHealthResult, endpointID, uint16(200), uint32(took), uint8(len(report)), report))
 	}
 }
