--- a/internal/configcache/cache_test.go
+++ b/internal/configcache/cache_test.go
@@ -14,12 +14,18 @@
 )
 
 func version(n uint64) *rollout.Version {
-	return &rollout.Version{ID: rollout.ID{Source: rollout.SourceControlPlane, Epoch: "a", Number: n}, Digest: fmt.Sprintf("%02x", n)}
+	return &rollout.Version{
+		ID:     rollout.ID{Source: rollout.SourceControlPlane, Epoch: "a", Number: n},
+		Digest: fmt.Sprintf("%02x", n),
+	}
 }
 
 func newState(good, before uint64) *rollout.PersistentState {
 	file := rollout.Version{ID: rollout.ID{Source: rollout.SourceFile, Number: 1}, Digest: "ff"}
-	return &rollout.PersistentState{LastKnownGood: &rollout.LayeredVersion{ControlPlane: version(good), File: file}, PreviousGood: &rollout.LayeredVersion{ControlPlane: version(before), File: file}}
+	return &rollout.PersistentState{
+		LastKnownGood: &rollout.LayeredVersion{ControlPlane: version(good), File: file},
+		PreviousGood:  &rollout.LayeredVersion{ControlPlane: version(before), File: file},
+	}
 }
 
 func newContents(n ...uint64) map[string][]byte {
@@ -74,7 +80,14 @@
 	if got := d.mustLastKnownGood(t); got != 4 {
 		t.Errorf("good %d", got)
 	}
-	if got := fileNames(t, d); !slices.Equal(got, []string{"content-02", "content-03", "content-04", "content-ff", "state", "state.before"}) {
+	if got := fileNames(t, d); !slices.Equal(got, []string{
+		"content-02",
+		"content-03",
+		"content-04",
+		"content-ff",
+		"state",
+		"state.before",
+	}) {
 		t.Errorf("files %v", got)
 	}
 	if text, err := d.Content("04"); string(text) != "content 4" || err != nil {
@@ -114,7 +127,10 @@
 // A crash between any two steps leaves what was there, or what is new, and the next saving goes on from either.
 func TestCrashBetweenSteps(t *testing.T) {
 	for _, leave := range [][]string{
-		{"content-03.part"}, {"state.part"}, {"state.before.part"}, {"content-03.part", "state.part", "state.before.part"},
+		{"content-03.part"},
+		{"state.part"},
+		{"state.before.part"},
+		{"content-03.part", "state.part", "state.before.part"},
 	} {
 		d := openTemporary(t)
 		if err := d.Save(newState(2, 1), newContents(1, 2)); err != nil {
--- a/internal/configcache/golden_test.go
+++ b/internal/configcache/golden_test.go
@@ -38,15 +38,26 @@
 	return map[string]*rollout.PersistentState{
 		"empty":     {},
 		"file-only": {LastKnownGood: onlyFile},
-		"on-trial":  {LastKnownGood: onlyFile, Unconfirmed: first, ApplyAttempts: 1, KnownVersions: []rollout.Version{*first}},
+		"on-trial": {
+			LastKnownGood: onlyFile,
+			Unconfirmed:   first,
+			ApplyAttempts: 1,
+			KnownVersions: []rollout.Version{*first},
+		},
 		"refused": {
 			LastKnownGood: onlyFile,
 			Rejected:      []rollout.Rejection{{Version: *first, Reason: "class/look: aim: 2s is over give_up"}},
 			KnownVersions: []rollout.Version{*first},
 		},
 		"full": {
-			LastKnownGood: &rollout.LayeredVersion{ControlPlane: serviceVersion("e", 7, goldenFirst, false), File: fileVersion(3)},
-			PreviousGood:  &rollout.LayeredVersion{ControlPlane: serviceVersion("e", 6, goldenSecond, true), File: fileVersion(3)},
+			LastKnownGood: &rollout.LayeredVersion{
+				ControlPlane: serviceVersion("e", 7, goldenFirst, false),
+				File:         fileVersion(3),
+			},
+			PreviousGood: &rollout.LayeredVersion{
+				ControlPlane: serviceVersion("e", 6, goldenSecond, true),
+				File:         fileVersion(3),
+			},
 			Unconfirmed:   serviceVersion("f", 1, goldenSecond, true),
 			ApplyAttempts: 2,
 			Rejected: []rollout.Rejection{
--- a/internal/decide/canary/canary_test.go
+++ b/internal/decide/canary/canary_test.go
@@ -85,15 +85,36 @@
 		{name: "all fails, little traffic", rate: 10, bad: 0.001, harm: 0.9, least: 1, most: 1, within: 4_000_000},
 		{name: "a fifth fails", rate: 100, bad: 0.01, harm: 0.2, least: 1, most: 1, within: 3_000_000},
 		{name: "a twentieth fails", rate: 100, bad: 0.005, harm: 0.05, least: 0.95, most: 1, within: 15_000_000},
-		{name: "a twentieth fails, in spells", rate: 200, bad: 0.01, unsteady: 0.7, harm: 0.05, least: 0.9, most: 1, within: 20_000_000},
+		{
+			name:     "a twentieth fails, in spells",
+			rate:     200,
+			bad:      0.01,
+			unsteady: 0.7,
+			harm:     0.05,
+			least:    0.9,
+			most:     1,
+			within:   20_000_000,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			found := 0
 			var times []float64
 			for seed := range uint64(trials) {
 				rng := rand.New(rand.NewPCG(seed, 1))
-				before := &trafficSource{rng: rng, rate: tc.rate, unservedFraction: tc.bad, variation: tc.unsteady, failedFraction: 0.5}
-				after := &trafficSource{rng: rng, rate: tc.rate, unservedFraction: tc.bad + tc.harm, variation: tc.unsteady, failedFraction: 0.5}
+				before := &trafficSource{
+					rng:              rng,
+					rate:             tc.rate,
+					unservedFraction: tc.bad,
+					variation:        tc.unsteady,
+					failedFraction:   0.5,
+				}
+				after := &trafficSource{
+					rng:              rng,
+					rate:             tc.rate,
+					unservedFraction: tc.bad + tc.harm,
+					variation:        tc.unsteady,
+					failedFraction:   0.5,
+				}
 				v, f := runToVerdict(t, testSettings, before, after)
 				if v == Degraded {
 					found++
@@ -112,7 +133,14 @@
 			}
 			t.Logf("found worse: %.3f, median after %.2f s", part, median/1e6)
 			if part < tc.least || part > tc.most || tc.within > 0 && median > float64(tc.within) {
-				t.Errorf("found worse: %.3f, want %.3f..%.3f; median after %.2f s, want %.2f", part, tc.least, tc.most, median/1e6, float64(tc.within)/1e6)
+				t.Errorf(
+					"found worse: %.3f, want %.3f..%.3f; median after %.2f s, want %.2f",
+					part,
+					tc.least,
+					tc.most,
+					median/1e6,
+					float64(tc.within)/1e6,
+				)
 			}
 		})
 	}
@@ -125,17 +153,27 @@
 	s.MaxExtensions = 2
 	rng := rand.New(rand.NewPCG(1, 1))
 	before := &trafficSource{rng: rng, rate: 100, unservedFraction: 0.001}
-	if v, f := runToVerdict(t, s, before, &trafficSource{rng: rng, rate: 250, unservedFraction: 0.3}); v != Inconclusive || f.Service[1] > 0.8 {
+	if v, f := runToVerdict(t, s, before, &trafficSource{
+		rng:              rng,
+		rate:             250,
+		unservedFraction: 0.3,
+	}); v != Inconclusive || f.Service[1] > 0.8 {
 		t.Errorf("%v, %+v", v, f)
 	}
-	if v, f := runToVerdict(t, s, before, &trafficSource{rng: rng, rate: 250, unservedFraction: 0.3, failedFraction: 0.5}); v != Degraded || f.Metric != "failures" {
+	if v, f := runToVerdict(t, s, before, &trafficSource{
+		rng:              rng,
+		rate:             250,
+		unservedFraction: 0.3,
+		failedFraction:   0.5,
+	}); v != Degraded || f.Metric != "failures" {
 		t.Errorf("%v, %+v", v, f)
 	}
 	x, _ := NewAnalysis(s)
 	for range 120 {
 		x.AddBaseline(before.sample())
 	}
-	rush, after := &trafficSource{rng: rng, rate: 300, unservedFraction: 0.2}, &trafficSource{rng: rng, rate: 100, unservedFraction: 0.001}
+	rush := &trafficSource{rng: rng, rate: 300, unservedFraction: 0.2}
+	after := &trafficSource{rng: rng, rate: 100, unservedFraction: 0.001}
 	var v Verdict
 	for i := 0; v == Undecided; i++ {
 		from := rush
@@ -193,7 +231,14 @@
 		over := (s.Duration+slot-1)/slot*int64(1+s.MaxExtensions) + 1
 		for i := range over {
 			v, f := x.AddCanary(sample.Draw(t, "tried"))
-			for _, n := range []float64{f.Service[0], f.Service[1], f.Failures[0], f.Failures[1], f.Harm, f.RequestRate[1]} {
+			for _, n := range []float64{
+				f.Service[0],
+				f.Service[1],
+				f.Failures[0],
+				f.Failures[1],
+				f.Harm,
+				f.RequestRate[1],
+			} {
 				if math.IsNaN(n) || math.IsInf(n, 0) {
 					t.Fatalf("%+v", f)
 				}
@@ -213,8 +258,13 @@
 
 func TestInvalidSettings(t *testing.T) {
 	for _, change := range []func(*Settings){
-		func(s *Settings) { s.Duration = 0 }, func(s *Settings) { s.MinDuration = s.Duration + 1 }, func(s *Settings) { s.HarmMargin = 1 },
-		func(s *Settings) { s.Alpha = 0 }, func(s *Settings) { s.Alpha = math.NaN() }, func(s *Settings) { s.MaxDemandRatio = 0.5 }, func(s *Settings) { s.MaxExtensions = -1 },
+		func(s *Settings) { s.Duration = 0 },
+		func(s *Settings) { s.MinDuration = s.Duration + 1 },
+		func(s *Settings) { s.HarmMargin = 1 },
+		func(s *Settings) { s.Alpha = 0 },
+		func(s *Settings) { s.Alpha = math.NaN() },
+		func(s *Settings) { s.MaxDemandRatio = 0.5 },
+		func(s *Settings) { s.MaxExtensions = -1 },
 	} {
 		s := testSettings
 		change(&s)
@@ -268,7 +318,13 @@
 		verdict Verdict
 		least   int // slots at least
 	}{{1, Passed, 8}, {0.5, Degraded, 4}, {0.99, Inconclusive, 32}} {
-		x, err := NewAnalysis(Settings{Duration: 2_000_000, MinDuration: 500_000, HarmMargin: 0.005, Alpha: 0.001, MaxExtensions: 3}, before...)
+		x, err := NewAnalysis(Settings{
+			Duration:      2_000_000,
+			MinDuration:   500_000,
+			HarmMargin:    0.005,
+			Alpha:         0.001,
+			MaxExtensions: 3,
+		}, before...)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/decide/rollout/random_test.go
+++ b/internal/decide/rollout/random_test.go
@@ -10,8 +10,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// simulatedHost is a host whose disk, control plane and contents are a test's. It executes commands in order, as far and
-// as well as the drawn events have it, and checks each against a plain reading of the rules.
+// simulatedHost is a host whose disk, control plane and contents are a test's. It executes commands in order, as far
+// and as well as the drawn events have it, and checks each against a plain reading of the rules.
 type simulatedHost struct {
 	*rapid.T
 	machine  *StateMachine
@@ -340,9 +340,9 @@
 	}
 }
 
-// In whatever order versions come, twice, late, or not at all, whatever fails and whenever the process ends: the rules
-// hold at each step, and once a sound version comes to an instance where nothing fails any more, that one runs and is
-// stored.
+// In whatever order versions come, twice, late, or not at all, whatever fails and whenever the process ends: the
+// rules hold at each step, and once a sound version comes to an instance where nothing fails any more, that one runs
+// and is stored.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		host := newSimulatedHost(t)
--- a/internal/xdsclient/client_test.go
+++ b/internal/xdsclient/client_test.go
@@ -49,7 +49,12 @@
 }
 
 func settings(addr string) config.Control {
-	return config.Control{Address: addr, Plaintext: true, SizeMost: stricttoml.Size{Bytes: 1 << 20}, RetryMost: stricttoml.Duration{Duration: 100 * time.Millisecond}}
+	return config.Control{
+		Address:   addr,
+		Plaintext: true,
+		SizeMost:  stricttoml.Size{Bytes: 1 << 20},
+		RetryMost: stricttoml.Duration{Duration: 100 * time.Millisecond},
+	}
 }
 
 func startClient(t *testing.T, c config.Control, running *rollout.ID) *testClient {
@@ -87,23 +92,38 @@
 	return s
 }
 
-func class(name string, worth float64) config.Resource {
-	return config.Resource{Kind: "class", Name: name, Fields: map[string]any{"repeat": "safe", "aim": "100ms", "give_up": "1s", "worth": worth}}
+func class(name string, weight float64) config.Resource {
+	return config.Resource{
+		Kind:   "class",
+		Name:   name,
+		Fields: map[string]any{"repeat": "safe", "aim": "100ms", "give_up": "1s", "worth": weight},
+	}
 }
 
 // A version arrives as it was sent, and what is said of it reaches the service with its nonce.
 func TestUpdateAndAnswers(t *testing.T) {
 	s := startServer(t, xdsserver.Options{})
-	if err := s.SetResources("e/7", []config.Resource{class("look", 2), {Kind: "requests", Fields: map[string]any{"open": 50.0}}}, map[string]any{"rollback": true, "about": "try"}); err != nil {
+	if err := s.SetResources("e/7", []config.Resource{
+		class("look", 2),
+		{Kind: "requests", Fields: map[string]any{"open": 50.0}},
+	}, map[string]any{"rollback": true, "about": "try"}); err != nil {
 		t.Fatal(err)
 	}
 	f := startClient(t, settings(s.Address), &rollout.ID{Epoch: "e", Number: 6})
 	scriptedpeer.Eventually(t, "the version", func() bool { return len(f.updates()) == 1 })
 	u := f.updates()[0]
-	if u.DecodeError != "" || u.Version.ID != (rollout.ID{Source: rollout.SourceControlPlane, Epoch: "e", Number: 7}) || !u.Version.Rollback || len(u.Resources) != 2 ||
-		u.Resources[0].Name != "look" || u.Resources[0].Fields["worth"] != 2.0 || u.Resources[0].Fields["name"] != nil || u.Version.Digest != config.Digest(u.Resources) {
+	if u.DecodeError != "" || !u.Version.Rollback || u.Version.Digest != config.Digest(u.Resources) {
 		t.Errorf("%+v", u)
 	}
+	if u.Version.ID != (rollout.ID{Source: rollout.SourceControlPlane, Epoch: "e", Number: 7}) {
+		t.Errorf("version %+v", u.Version)
+	}
+	if len(u.Resources) != 2 || u.Resources[0].Name != "look" {
+		t.Fatalf("resources %+v", u.Resources)
+	}
+	if fields := u.Resources[0].Fields; fields["worth"] != 2.0 || fields["name"] != nil {
+		t.Errorf("fields %v", fields)
+	}
 	f.Ack(u.Version.ID, false)
 	f.Ack(u.Version.ID, true)
 	f.Nack(u.Version.ID, "it did harm", &rollout.ID{Epoch: "e", Number: 6})
@@ -112,7 +132,11 @@
 	if w[0].VersionInfo != "e/6" || w[0].Node != "i-1" || w[0].ResponseNonce != "" {
 		t.Errorf("first %+v", w[0])
 	}
-	for i, want := range []xdsserver.Request{{State: "trial", VersionInfo: "e/7"}, {State: "good", VersionInfo: "e/7"}, {State: "refused", VersionInfo: "e/6", ErrorDetail: "it did harm"}} {
+	for i, want := range []xdsserver.Request{
+		{State: "trial", VersionInfo: "e/7"},
+		{State: "good", VersionInfo: "e/7"},
+		{State: "refused", VersionInfo: "e/6", ErrorDetail: "it did harm"},
+	} {
 		if g := w[i+1]; g.AnsweredVersion != "e/7" || g.State != want.State || g.VersionInfo != want.VersionInfo || g.ErrorDetail != want.ErrorDetail {
 			t.Errorf("answer %d: %+v, want %+v", i, g, want)
 		}
@@ -129,7 +153,11 @@
 		t.Fatal(err)
 	}
 	made := func(change func(r *discovery.DiscoveryResponse)) *discovery.DiscoveryResponse {
-		r := &discovery.DiscoveryResponse{VersionInfo: sound.VersionInfo, TypeUrl: sound.TypeUrl, Resources: sound.Resources}
+		r := &discovery.DiscoveryResponse{
+			VersionInfo: sound.VersionInfo,
+			TypeUrl:     sound.TypeUrl,
+			Resources:   sound.Resources,
+		}
 		change(r)
 		return r
 	}
@@ -137,11 +165,15 @@
 		"was not asked for": made(func(r *discovery.DiscoveryResponse) {
 			r.TypeUrl = "type.googleapis.com/envoy.config.listener.v3.Listener"
 		}),
-		"is neither NUMBER":             made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "seven" }),
-		`"07" is neither NUMBER`:        made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "07" }),
-		"the epoch before / is empty":   made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "/7" }),
-		"an epoch is at most 64":        made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = strings.Repeat("e", 65) + "/7" }),
-		`"18446744073709551616" is nei`: made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "18446744073709551616" }),
+		"is neither NUMBER":           made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "seven" }),
+		`"07" is neither NUMBER`:      made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "07" }),
+		"the epoch before / is empty": made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "/7" }),
+		"an epoch is at most 64": made(func(r *discovery.DiscoveryResponse) {
+			r.VersionInfo = strings.Repeat("e", 65) + "/7"
+		}),
+		`"18446744073709551616" is nei`: made(func(r *discovery.DiscoveryResponse) {
+			r.VersionInfo = "18446744073709551616"
+		}),
 	}
 	for want, r := range unread {
 		s.Broadcast(r)
@@ -158,7 +190,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	unknown, err := xdsserver.NewResponse("10", []config.Resource{{Kind: "clas", Name: "x", Fields: map[string]any{}}}, nil)
+	unknown, err := xdsserver.NewResponse("10", []config.Resource{
+		{Kind: "clas", Name: "x", Fields: map[string]any{}},
+	}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -173,12 +207,16 @@
 		s.Broadcast(r)
 		n++
 		scriptedpeer.Eventually(t, want, func() bool { return len(f.updates()) == n })
-		if u := f.updates()[n-1]; !strings.Contains(u.DecodeError, want) || u.Resources != nil || u.Version.Digest == "" {
+		u := f.updates()[n-1]
+		if !strings.Contains(u.DecodeError, want) || u.Resources != nil || u.Version.Digest == "" {
 			t.Errorf("%s: %+v", want, u)
 		}
 	}
 	s.Broadcast(sound)
-	scriptedpeer.Eventually(t, "a sound one", func() bool { u := f.updates(); return len(u) == n+1 && u[n].DecodeError == "" })
+	scriptedpeer.Eventually(t, "a sound one", func() bool {
+		u := f.updates()
+		return len(u) == n+1 && u[n].DecodeError == ""
+	})
 	if s.StreamsOpened() != 1 {
 		t.Errorf("%d streams", s.StreamsOpened())
 	}
@@ -296,8 +334,15 @@
 		t.Fatal(err)
 	}
 	a := &authority{key: key, dir: t.TempDir()}
-	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	a.cert = &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "test"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
 	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
 	if err != nil {
 		t.Fatal(err)
@@ -322,8 +367,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		DNSNames:     []string{name},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
 	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &own.PublicKey, a.key)
 	if err != nil {
 		t.Fatal(err)
@@ -348,7 +400,11 @@
 		t.Fatal(err)
 	}
 	pool.AppendCertsFromPEM(text)
-	return credentials.NewTLS(&tls.Config{Certificates: []tls.Certificate{own}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert})
+	return credentials.NewTLS(&tls.Config{
+		Certificates: []tls.Certificate{own},
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	})
 }
 
 // Both sides must show a certificate that the other's authority has signed, and the service the name that is
@@ -383,12 +439,14 @@
 	scriptedpeer.Eventually(t, "the version", func() bool { return good.has(1) })
 	bad := with(ours, ours, "")
 	bad.CA = bad.Key
-	if _, err := xdsclient.New(xdsclient.Options{Settings: bad}); err == nil || !strings.Contains(err.Error(), "control.ca") {
+	_, err := xdsclient.New(xdsclient.Options{Settings: bad})
+	if err == nil || !strings.Contains(err.Error(), "control.ca") {
 		t.Errorf("a CA that is none: %v", err)
 	}
 	bad = with(ours, ours, "")
 	bad.Key = "/nowhere"
-	if _, err := xdsclient.New(xdsclient.Options{Settings: bad}); err == nil || !strings.Contains(err.Error(), "control.cert") {
+	_, err = xdsclient.New(xdsclient.Options{Settings: bad})
+	if err == nil || !strings.Contains(err.Error(), "control.cert") {
 		t.Errorf("a key that is not there: %v", err)
 	}
 }
--- a/internal/xdsclient/decode_test.go
+++ b/internal/xdsclient/decode_test.go
@@ -21,7 +21,14 @@
 	for _, kinds := range [][]string{{"class", "requests"}, {"release"}, {"route", "pool", "paths"}, {"process"}, {}} {
 		r := &discovery.DiscoveryResponse{VersionInfo: "e/1", TypeUrl: TypeURL}
 		for _, kind := range kinds {
-			value, err := structpb.NewStruct(map[string]any{"name": "look", "aim": "1s", "worth": 2.5, "rollback": true, "endpoints": []any{"a:1", nil}, "request": map[string]any{"set": map[string]any{"a": "b"}}})
+			value, err := structpb.NewStruct(map[string]any{
+				"name":      "look",
+				"aim":       "1s",
+				"worth":     2.5,
+				"rollback":  true,
+				"endpoints": []any{"a:1", nil},
+				"request":   map[string]any{"set": map[string]any{"a": "b"}},
+			})
 			if err != nil {
 				f.Fatal(err)
 			}
--- a/internal/xdsclient/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -26,7 +26,9 @@
 	responses chan *discovery.DiscoveryResponse
 }
 
-func (s *recordingServer) StreamAggregatedResources(stream discovery.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+func (s *recordingServer) StreamAggregatedResources(
+	stream discovery.AggregatedDiscoveryService_StreamAggregatedResourcesServer,
+) error {
 	go func() {
 		for response := range s.responses {
 			if stream.Send(response) != nil {
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -25,12 +25,12 @@
 		t.Fatal(err)
 	}
 	all := cache.NewLinearCache(xdsclient.TypeURL, cache.WithVersionPrefix("plane/"))
-	refused := make(chan string, 16)
+	rejected := make(chan string, 16)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	xds := server.NewServer(ctx, all, server.CallbackFuncs{StreamRequestFunc: func(_ int64, r *discovery.DiscoveryRequest) error {
 		if e := r.GetErrorDetail(); e != nil {
-			refused <- r.GetVersionInfo() + ": " + e.GetMessage()
+			rejected <- r.GetVersionInfo() + ": " + e.GetMessage()
 		}
 		return nil
 	}})
@@ -39,11 +39,19 @@
 	go g.Serve(ln)
 	t.Cleanup(g.Stop)
 	set := func(worth float64) {
-		value, err := structpb.NewStruct(map[string]any{"name": "look", "repeat": "safe", "aim": "100ms", "give_up": "1s", "worth": worth})
+		value, err := structpb.NewStruct(map[string]any{
+			"name":    "look",
+			"repeat":  "safe",
+			"aim":     "100ms",
+			"give_up": "1s",
+			"worth":   worth,
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		all.SetResources(map[string]types.Resource{"class/look": &typed.TypedStruct{TypeUrl: xdsclient.KindPrefix + "class", Value: value}})
+		all.SetResources(map[string]types.Resource{
+			"class/look": &typed.TypedStruct{TypeUrl: xdsclient.KindPrefix + "class", Value: value},
+		})
 	}
 	set(1)
 	f := startClient(t, settings(ln.Addr().String()), nil)
@@ -60,9 +68,10 @@
 		t.Errorf("%+v", two)
 	}
 	f.Nack(two.Version.ID, "not today", &one.Version.ID)
-	if got := scriptedpeer.Within(t, refused, "the refusal"); got != xdsclient.FormatVersionInfo(one.Version.ID)+": not today" {
-		t.Errorf("it heard %q", got)
+	expected := xdsclient.FormatVersionInfo(one.Version.ID) + ": not today"
+	if got := scriptedpeer.Within(t, rejected, "the NACK"); got != expected {
+		t.Errorf("NACK %q, not %q", got, expected)
 	}
 	set(3)
-	scriptedpeer.Eventually(t, "the one after a refused one", func() bool { return len(f.updates()) == 3 })
+	scriptedpeer.Eventually(t, "the one after a rejected one", func() bool { return len(f.updates()) == 3 })
 }
