--- a/balancer/ban_test.go
+++ b/balancer/ban_test.go
@@ -8,11 +8,11 @@
 
 // One that is let in again has been restarted: it gets no more than a cold one may, also where the list goes on telling
 // its old start, and nothing that was known of the process before holds.
-func TestBannedReturnsCold(t *testing.T) {
+func TestUncordonedEndpointWarmsUp(t *testing.T) {
 	s := testSettings()
-	b, r := start(t, s, ready(4))
-	e := b.byID[1]
-	e.whole = ill{streak: 9, outTo: 1 << 40, outFor: second}
+	b, r := startBalancer(t, s, readyEndpoints(4))
+	e := b.endpointsByID[1]
+	e.outlier = outlierStats{consecutiveFailures: 9, ejectedUntil: 1 << 40, ejectionTime: second}
 	b.Ban(1000, 1, true)
 	b.Ban(2000, 1, true)
 	if !b.Avoids(2000, 1) {
@@ -20,11 +20,11 @@
 	}
 	now := monotime.Micros(60 * second)
 	b.Ban(now, 1, false)
-	b.Members(now, ListDelta, ready(1))
-	if e != b.byID[1] || !e.cold(now, b) || e.warmth(now, b) != s.Contract.ColdFrom || b.Avoids(now, 1) || e.whole.streak != 0 {
-		t.Errorf("back in: cold %v, warmth %v, avoided %v, streak %d", e.cold(now, b), e.warmth(now, b), b.Avoids(now, 1), e.whole.streak)
+	b.Members(now, ListDelta, readyEndpoints(1))
+	if e != b.endpointsByID[1] || !e.warmingUp(now, b) || e.capacityFraction(now, b) != s.Contract.ColdFrom || b.Avoids(now, 1) || e.outlier.consecutiveFailures != 0 {
+		t.Errorf("back in: cold %v, warmth %v, avoided %v, streak %d", e.warmingUp(now, b), e.capacityFraction(now, b), b.Avoids(now, 1), e.outlier.consecutiveFailures)
 	}
-	if later := now + s.Contract.RampTime; e.cold(later, b) {
+	if later := now + s.Contract.RampTime; e.warmingUp(later, b) {
 		t.Error("cold for ever")
 	}
 	// Three of the four are out: all goes to the one, and none is left for a second attempt.
@@ -32,20 +32,20 @@
 		b.Ban(now, id+2, true)
 	}
 	for id := range uint64(40) {
-		b.Request(now, request0(100+id, 0, 1000))
+		b.Request(now, newTestRequest(100+id, 0, 1000))
 	}
 	for _, sent := range r.sends {
 		if sent.endpoint != 1 {
 			t.Errorf("sent to endpoint %d, which is out", sent.endpoint)
 		}
 	}
-	if len(r.sends) > 10 || len(r.refused) < 30 {
-		t.Errorf("%d sent at once to the one that is cold, %d refused", len(r.sends), len(r.refused))
+	if len(r.sends) > 10 || len(r.rejected) < 30 {
+		t.Errorf("%d sent at once to the one that is cold, %d refused", len(r.sends), len(r.rejected))
 	}
 	// All are out: there is no exception.
 	b.Ban(now, 1, true)
 	before := len(r.sends)
-	b.Request(now, request0(200, 4, 1000))
+	b.Request(now, newTestRequest(200, 4, 1000))
 	if len(r.sends) != before {
 		t.Error("a request was sent while all are out")
 	}
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -10,7 +10,7 @@
 func bounded(t *testing.T) (*Balancer, *recorder, *Bounds) {
 	t.Helper()
 	s := testSettings()
-	b, r := start(t, s, ready(3))
+	b, r := startBalancer(t, s, readyEndpoints(3))
 	all := make([]float64, len(s.Classes))
 	for i := range all {
 		all[i] = 1
@@ -23,17 +23,17 @@
 
 // A part of the requests goes on, the same ones however often it is asked; what a tenant asks beyond its share goes by the
 // part for that.
-func TestBoundsTurnAway(t *testing.T) {
+func TestOverloadPolicyRejects(t *testing.T) {
 	b, _, to := bounded(t)
 	to.Admit[0] = 0.3
 	went := 0
 	for id := range uint64(2000) {
-		in := request0(id, 0, 0)
+		in := newTestRequest(id, 0, 0)
 		after, away := b.TurnsAway(in)
 		if _, again := b.TurnsAway(in); again != away {
 			t.Fatalf("request %d: turned away %v, then %v", id, away, again)
 		}
-		if away && b.s.Limits.RetryAfter && after <= 0 {
+		if away && b.settings.Limits.RetryAfter && after <= 0 {
 			t.Fatal("turned away without a word when to come back")
 		}
 		if !away {
@@ -44,15 +44,15 @@
 		t.Errorf("%d of 2000 go on, want three in ten", went)
 	}
 	// Balancers that begin together do not turn the same ones of their requests away.
-	other, err := New(b.s, 99, b.out)
+	other, err := New(b.settings, 99, b.actions)
 	if err != nil {
 		t.Fatal(err)
 	}
 	other.Bound(to)
 	same := 0
 	for id := range uint64(2000) {
-		_, a := b.TurnsAway(request0(id, 0, 0))
-		if _, o := other.TurnsAway(request0(id, 0, 0)); a == o {
+		_, a := b.TurnsAway(newTestRequest(id, 0, 0))
+		if _, o := other.TurnsAway(newTestRequest(id, 0, 0)); a == o {
 			same++
 		}
 	}
@@ -62,7 +62,7 @@
 	to.Admit[0], to.Inside = 1, []float64{0.5}
 	went = 0
 	for id := range uint64(2000) {
-		in := request0(id, 0, 0)
+		in := newTestRequest(id, 0, 0)
 		in.Tenant = 0
 		if _, away := b.TurnsAway(in); !away {
 			went++
@@ -72,20 +72,20 @@
 		t.Errorf("%d of 2000 go on where half lies beyond a tenant's share", went)
 	}
 	to.Inside, to.Again = nil, 0
-	repeat := request0(1, 0, 0)
+	repeat := newTestRequest(1, 0, 0)
 	repeat.Retry = true
 	if _, away := b.TurnsAway(repeat); !away {
 		t.Error("a repeat goes on where none does")
 	}
 	b.Bound(nil)
-	if _, away := b.TurnsAway(request0(1, 0, 0)); away {
+	if _, away := b.TurnsAway(newTestRequest(1, 0, 0)); away {
 		t.Error("turned away without bounds")
 	}
 }
 
 // Where every endpoint is full, one request of a class passes against its limit in the time that the bounds give, not one
 // a second; and how soon the first does differs between balancers that start together.
-func TestBoundsOnPasses(t *testing.T) {
+func TestOverloadPolicySetsForcedAdmitInterval(t *testing.T) {
 	count := func(to *Bounds, b *Balancer, r *recorder) int {
 		for id := range uint32(3) {
 			b.Probed(1000, id+1, OK, 500, []float32{10_000})
@@ -95,7 +95,7 @@
 			for e := range uint32(3) { // they stay full
 				b.Probed(now, e+1, OK, 500, []float32{10_000})
 			}
-			b.Request(now, request0(id, 0, now))
+			b.Request(now, newTestRequest(id, 0, now))
 			for _, s := range r.sends {
 				b.Outcome(now, Outcome{ID: s.id, Endpoint: s.endpoint, Status: Full, Settled: true})
 			}
@@ -114,11 +114,11 @@
 }
 
 // No further attempt goes out without the bounds' leave, whatever was saved up before.
-func TestBoundsOnFurtherAttempts(t *testing.T) {
+func TestOverloadPolicyLimitsRetries(t *testing.T) {
 	for _, may := range []bool{true, false} {
 		b, r, to := bounded(t)
 		to.Further = may
-		b.Request(1000, request0(1, 0, 1000))
+		b.Request(1000, newTestRequest(1, 0, 1000))
 		b.Outcome(2000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: Full, Latency: 1000})
 		if again := len(r.sends) > 1; again != may {
 			t.Errorf("further attempts allowed %v, %d sends", may, len(r.sends))
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -9,7 +9,7 @@
 
 func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
 
-func TestErrorChance(t *testing.T) {
+func TestErrorRejectChance(t *testing.T) {
 	for _, c := range []struct {
 		name              string
 		accepts, failures int
@@ -30,38 +30,38 @@
 		var k breaker
 		now := 100 * second
 		for range c.accepts {
-			k.count(now, 1, 0)
+			k.record(now, 1, 0)
 		}
 		for i := range c.failures {
 			if c.spread > 1 && i%(c.failures/c.spread) == 0 {
-				now += window / buckets
+				now += breakerWindow / breakerBuckets
 			}
-			k.count(now, 0, 1)
+			k.record(now, 0, 1)
 		}
 		for range c.refusals {
-			k.count(now, 0, 0)
+			k.record(now, 0, 0)
 		}
-		if got := k.errorChance(now); !near(got, c.want) {
+		if got := k.errorRejectChance(now); !near(got, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
-func TestWindowForgets(t *testing.T) {
+func TestBreakerWindowForgets(t *testing.T) {
 	var k breaker
 	for range 100 {
-		k.count(100*second, 0, 1)
+		k.record(100*second, 0, 1)
 	}
-	if k.errorChance(109*second) == 0 {
+	if k.errorRejectChance(109*second) == 0 {
 		t.Error("failures of nine seconds ago are forgotten")
 	}
-	if got := k.errorChance(110*second + 1); got != 0 || k.requests != 0 {
+	if got := k.errorRejectChance(110*second + 1); got != 0 || k.requests != 0 {
 		t.Errorf("after the window: chance %v, %d requests", got, k.requests)
 	}
 	for range 100 {
-		k.count(200*second, 0, 1)
+		k.record(200*second, 0, 1)
 	}
-	k.errorChance(500 * second)
+	k.errorRejectChance(500 * second)
 	if k.requests != 0 {
 		t.Errorf("after a long pause: %d requests", k.requests)
 	}
@@ -69,21 +69,21 @@
 
 func TestLatencyAverages(t *testing.T) {
 	var k breaker
-	k.latency(100)
-	if k.base != 100 || k.current != 100 {
-		t.Fatalf("first: base %v current %v", k.base, k.current)
+	k.recordLatency(100)
+	if k.baseLatency != 100 || k.currentLatency != 100 {
+		t.Fatalf("first: base %v current %v", k.baseLatency, k.currentLatency)
 	}
-	k.latency(60) // falls by a quarter of the way; current (60+3*100)/4
-	if !near(k.base, 90) || !near(k.current, 90) {
-		t.Fatalf("fall: base %v current %v", k.base, k.current)
+	k.recordLatency(60) // falls by a quarter of the way; current (60+3*100)/4
+	if !near(k.baseLatency, 90) || !near(k.currentLatency, 90) {
+		t.Fatalf("fall: base %v current %v", k.baseLatency, k.currentLatency)
 	}
-	k.latency(190) // rises by a hundredth: (190+99*90)/100; current (190+270)/4
-	if !near(k.base, 91) || !near(k.current, 115) {
-		t.Fatalf("rise: base %v current %v", k.base, k.current)
+	k.recordLatency(190) // rises by a hundredth: (190+99*90)/100; current (190+270)/4
+	if !near(k.baseLatency, 91) || !near(k.currentLatency, 115) {
+		t.Fatalf("rise: base %v current %v", k.baseLatency, k.currentLatency)
 	}
 }
 
-func TestLatencyChance(t *testing.T) {
+func TestLatencyRejectChance(t *testing.T) {
 	for _, c := range []struct {
 		name                   string
 		base, current, timeout float64
@@ -96,42 +96,42 @@
 		{"capped", 100, 5000, 1000, 0.3},
 		{"ceiling under the threshold", 400, 5000, 1000, 0},
 	} {
-		k := breaker{base: c.base, current: c.current}
-		if got := k.latencyChance(c.timeout); !near(got, c.want) {
+		k := breaker{baseLatency: c.base, currentLatency: c.current}
+		if got := k.latencyRejectChance(c.timeout); !near(got, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
 func TestForcedPass(t *testing.T) {
-	b, _ := start(t, testSettings(), ready(1))
-	e := b.list[0]
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(1))
+	e := b.endpoints[0]
 	now := 20 * second
 	for range 1000 {
-		e.br.count(now, 0, 1)
+		e.breaker.record(now, 0, 1)
 	}
 	r := &request{}
-	if !b.allows(now, r, e) {
+	if !b.breakerAllows(now, r, e) {
 		t.Fatal("the first is passed by force")
 	}
 	passed := 0
 	for range 200 {
-		if b.allows(now+1000, r, e) {
+		if b.breakerAllows(now+1000, r, e) {
 			passed++
 		}
 	}
 	if passed > 20 {
 		t.Errorf("%d of 200 passed an endpoint that fails all", passed)
 	}
-	if !b.allows(now+forcedPass+1001, r, e) {
+	if !b.breakerAllows(now+forcedPassInterval+1001, r, e) {
 		t.Error("none passed after the forced-pass interval")
 	}
 }
 
 // When all endpoints fail at once, ejection must not leave the few last ones with everything.
-func TestAtMostHalfAreEjected(t *testing.T) {
+func TestNoMoreThanHalfAreEjected(t *testing.T) {
 	for _, c := range []struct{ endpoints, most int }{{1, 0}, {2, 1}, {3, 1}, {4, 2}, {9, 4}} {
-		b, r := start(t, testSettings(), ready(c.endpoints))
+		b, r := startBalancer(t, testSettings(), readyEndpoints(c.endpoints))
 		worst := 0
 		for id := range uint64(200) {
 			now := 1000 + 100*monotime.Micros(id)
@@ -140,8 +140,8 @@
 				b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[n-1].endpoint, Status: Error, Latency: 50})
 			}
 			out := 0
-			for _, e := range b.list {
-				if now < e.whole.outTo {
+			for _, e := range b.endpoints {
+				if now < e.outlier.ejectedUntil {
 					out++
 				}
 			}
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -11,9 +11,9 @@
 // What one sidecar of a large fleet gets wrong alone: few requests, dear probes, no word from the others.
 
 // A balancer that is busy from the first moment must not keep the pace of probes that it set before.
-func TestProbesBeginWithTheRequests(t *testing.T) {
+func TestProbeRateFollowsFirstRequests(t *testing.T) {
 	s := testSettings()
-	s.Prices.Probe = probeSpend * probeCalm / 0.02 // a probe for fifty requests
+	s.Prices.Probe = probeBudget * calmProbeShare / 0.02 // a probe for fifty requests
 	for seed := range uint64(20) {
 		r := &recorder{}
 		b, err := New(s, seed, r)
@@ -21,7 +21,7 @@
 			t.Fatal(err)
 		}
 		b.Start(0)
-		b.Members(0, ListCached, ready(60))
+		b.Members(0, ListCached, readyEndpoints(60))
 		var at monotime.Micros // of the next timer of probes
 		next := func(now monotime.Micros) monotime.Micros {
 			i := len(r.timers) - 1
@@ -44,7 +44,7 @@
 			}
 			r.probes = r.probes[:0]
 		}
-		if n := len(b.pool); n < 5 {
+		if n := len(b.probePool); n < 5 {
 			t.Errorf("seed %d: after 3 s at 200 requests a second %d answers are pooled, want 5 at least", seed, n)
 		}
 	}
@@ -52,11 +52,11 @@
 
 // Warm endpoints are busy, new cold ones idle: each of eighty balancers lets a cold one have only its own part, and
 // must give it that while there is room. What they give together stays within what the cold ones can take.
-func TestColdEndpointsGetTheirPart(t *testing.T) {
+func TestWarmingEndpointsGetTheirPart(t *testing.T) {
 	const balancers, warm, cold, rate, work = 80, 24, 36, 20.0, 0.05
 	s := testSettings()
 	s.Balancers = balancers
-	s.Prices.Probe = probeSpend * probeCalm / 0.05
+	s.Prices.Probe = probeBudget * calmProbeShare / 0.05
 	s.Contract.OverloadFor, s.Contract.RampTime = 2*second, 1000*second // they stay as they began
 	inWindow := map[uint32]float64{}
 	for seed := range uint64(balancers) {
@@ -66,7 +66,7 @@
 			t.Fatal(err)
 		}
 		b.Start(0)
-		list := ready(warm + cold)
+		list := readyEndpoints(warm + cold)
 		b.Members(0, ListFull, list[:warm])
 		b.Members(second, ListDelta, list[warm:])
 		for now := second; now < 7*second; now += monotime.Micros(float64(second) / rate) {
@@ -104,44 +104,44 @@
 }
 
 // asking is a balancer that asks a discovery which answers few calls and fails those that wait too long.
-type asking struct {
-	b    *Balancer
-	r    *recorder
-	at   monotime.Micros // of its next timer of discovery
-	seen int             // of its recorder's timers
-	told bool
+type pollingBalancer struct {
+	balancer   *Balancer
+	recorder   *recorder
+	nextTimer  monotime.Micros // of its next timer of discovery
+	timersSeen int             // of its recorder's timers
+	notified   bool
 }
 
-func (a *asking) next(now monotime.Micros) {
-	for ; a.seen < len(a.r.timers); a.seen++ {
-		if a.r.timers[a.seen] == tokenDiscovery {
-			a.at = now + a.r.delays[a.seen]
+func (a *pollingBalancer) next(now monotime.Micros) {
+	for ; a.timersSeen < len(a.recorder.timers); a.timersSeen++ {
+		if a.recorder.timers[a.timersSeen] == tokenDiscovery {
+			a.nextTimer = now + a.recorder.delays[a.timersSeen]
 		}
 	}
 }
 
 // Eighty sidecars start within 100 ms while discovery answers four calls a second and fails what waits for two seconds.
 // All are told within a minute, calls do not come faster than it fails them, and meanwhile the known list serves.
-func TestFleetAsksAnOverbookedDiscovery(t *testing.T) {
+func TestFleetPollsOverloadedDiscovery(t *testing.T) {
 	const balancers, perCall, patience = 80, second / 4, 2 * second
 	s := testSettings()
 	s.Subscribe, s.Balancers = true, balancers
-	rng := source(9)
-	var fleet []*asking
+	rng := randomSource(9)
+	var fleet []*pollingBalancer
 	for seed := range uint64(balancers) {
-		a := &asking{r: &recorder{}}
+		a := &pollingBalancer{recorder: &recorder{}}
 		var err error
-		if a.b, err = New(s, seed, a.r); err != nil {
+		if a.balancer, err = New(s, seed, a.recorder); err != nil {
 			t.Fatal(err)
 		}
-		from := rng.below(second / 10)
-		a.b.Start(from)
-		a.b.Members(from, ListCached, ready(6))
+		from := rng.durationBelow(second / 10)
+		a.balancer.Start(from)
+		a.balancer.Members(from, ListCached, readyEndpoints(6))
 		a.next(from)
 		fleet = append(fleet, a)
 	}
 	type call struct {
-		a  *asking
+		a  *pollingBalancer
 		at monotime.Micros
 	}
 	var line []call
@@ -150,11 +150,11 @@
 	calls, told := 0, 0
 	for now := monotime.Micros(0); now < 60*second && told < balancers; now += 10_000 {
 		for _, a := range fleet {
-			if a.at > 0 && a.at <= now {
-				a.at = 0
-				was := a.r.watches
-				a.b.Timer(now, tokenDiscovery)
-				if a.r.watches > was {
+			if a.nextTimer > 0 && a.nextTimer <= now {
+				a.nextTimer = 0
+				was := a.recorder.watches
+				a.balancer.Timer(now, tokenDiscovery)
+				if a.recorder.watches > was {
 					calls++
 					inSecond[now/second]++
 					line = append(line, call{a, now})
@@ -162,26 +162,26 @@
 				a.next(now)
 			}
 			id := uint64(now) + 1
-			if n := len(a.r.sends); now%second == 0 {
-				a.b.Request(now, Request{ID: id, Deadline: now + second})
-				if len(a.r.sends) != n+1 {
+			if n := len(a.recorder.sends); now%second == 0 {
+				a.balancer.Request(now, Request{ID: id, Deadline: now + second})
+				if len(a.recorder.sends) != n+1 {
 					t.Fatalf("at %d ms a request was not sent: the known list should serve", now/1000)
 				}
-				a.b.Outcome(now, Outcome{ID: id, Endpoint: a.r.sends[n].endpoint, Status: OK, Latency: 30_000, Settled: true})
+				a.balancer.Outcome(now, Outcome{ID: id, Endpoint: a.recorder.sends[n].endpoint, Status: OK, Latency: 30_000, Settled: true})
 			}
 		}
 		for len(line) > 0 && (now >= free || now-line[0].at > patience) {
 			c := line[0]
 			line = line[1:]
 			if now-c.at > patience {
-				c.a.b.Members(now, ListFailed, nil)
+				c.a.balancer.Members(now, ListFailed, nil)
 				c.a.next(now)
 				continue
 			}
 			free = now + perCall
-			c.a.b.Members(now, ListFull, ready(6))
-			if !c.a.told {
-				c.a.told = true
+			c.a.balancer.Members(now, ListFull, readyEndpoints(6))
+			if !c.a.notified {
+				c.a.notified = true
 				told++
 			}
 		}
@@ -204,12 +204,12 @@
 	for _, known := range []int{0, 5} {
 		s := testSettings()
 		s.Subscribe = true
-		b, r := start(t, s, ready(known))
+		b, r := startBalancer(t, s, readyEndpoints(known))
 		asked := 0
 		for now := monotime.Micros(0); now < 60*second; now += second {
 			for i := len(r.timers) - 1; i >= 0; i-- {
 				if r.timers[i] == tokenDiscovery {
-					b.Timer(b.askAt, tokenDiscovery)
+					b.Timer(b.nextPollAt, tokenDiscovery)
 					break
 				}
 			}
@@ -218,8 +218,8 @@
 				b.Members(now, ListFailed, nil)
 			}
 			id := uint64(now) + 1
-			b.Request(now, request0(id, 0, now))
-			if known == 0 && (len(r.refused) == 0 || r.refused[len(r.refused)-1] != id) {
+			b.Request(now, newTestRequest(id, 0, now))
+			if known == 0 && (len(r.rejected) == 0 || r.rejected[len(r.rejected)-1] != id) {
 				t.Fatalf("at %d s: not refused at once", now/second)
 			}
 			if known > 0 {
@@ -242,14 +242,14 @@
 	for _, changes := range []int{1, 20} {
 		const all, gone = 60, 36
 		s := testSettings()
-		b, r := start(t, s, ready(all))
+		b, r := startBalancer(t, s, readyEndpoints(all))
 		now := monotime.Micros(0)
 		for i := range uint64(all) {
 			now += 1000
-			b.Request(now, request0(i+1, 0, now))
+			b.Request(now, newTestRequest(i+1, 0, now))
 		}
 		open := slices.Clone(r.sends)
-		list := ready(all + gone)
+		list := readyEndpoints(all + gone)
 		removed := map[uint32]bool{}
 		per := (gone + changes - 1) / changes
 		for from := 0; from < gone; from += per {
@@ -264,7 +264,7 @@
 			b.Members(now, ListDelta, delta)
 			for i := range uint64(40) {
 				n := len(r.sends)
-				b.Request(now, request0(1000*uint64(now)+i, 0, now))
+				b.Request(now, newTestRequest(1000*uint64(now)+i, 0, now))
 				if len(r.sends) > n && removed[r.sends[n].endpoint] {
 					t.Errorf("%d changes: a request went to endpoint %d, which is gone", changes, r.sends[n].endpoint)
 				}
@@ -283,12 +283,12 @@
 		for i := len(open); len(r.sends) > i; i++ { // the second tries of those
 			b.Outcome(now, Outcome{ID: r.sends[i].id, Attempt: 1, Endpoint: r.sends[i].endpoint, Status: OK, Latency: 20_000, Settled: true})
 		}
-		if b.open != 0 || len(b.requests) != 0 {
-			t.Errorf("%d changes: %d requests have no answer, %d are remembered", changes, b.open, len(b.requests))
+		if b.openRequests != 0 || len(b.requests) != 0 {
+			t.Errorf("%d changes: %d requests have no answer, %d are remembered", changes, b.openRequests, len(b.requests))
 		}
 		b.Members(now, ListDelta, nil)
-		if len(b.list) != all {
-			t.Errorf("%d changes: %d endpoints are held, want %d", changes, len(b.list), all)
+		if len(b.endpoints) != all {
+			t.Errorf("%d changes: %d endpoints are held, want %d", changes, len(b.endpoints), all)
 		}
 	}
 }
@@ -296,15 +296,15 @@
 // A list that shrinks to one: all goes there while an answer would be in time, the rest is refused at once, and when
 // the others come back they are used again.
 func TestListShrinksToOne(t *testing.T) {
-	b, r := start(t, testSettings(), ready(20))
-	b.Members(second, ListFull, ready(1))
+	b, r := startBalancer(t, testSettings(), readyEndpoints(20))
+	b.Members(second, ListFull, readyEndpoints(1))
 	now := second
 	for i := range uint64(200) {
 		now += 1000
-		b.Request(now, request0(i+1, 0, now))
+		b.Request(now, newTestRequest(i+1, 0, now))
 	}
-	if len(r.sends)+len(r.refused) != 200 || len(r.refused) == 0 || len(r.sends) == 0 {
-		t.Fatalf("%d sent, %d refused of 200", len(r.sends), len(r.refused))
+	if len(r.sends)+len(r.rejected) != 200 || len(r.rejected) == 0 || len(r.sends) == 0 {
+		t.Fatalf("%d sent, %d refused of 200", len(r.sends), len(r.rejected))
 	}
 	for _, x := range r.sends {
 		if x.endpoint != 1 {
@@ -312,11 +312,11 @@
 		}
 		b.Outcome(now, Outcome{ID: x.id, Endpoint: 1, Status: OK, Latency: 100_000, Settled: true})
 	}
-	b.Members(now, ListFull, ready(20))
+	b.Members(now, ListFull, readyEndpoints(20))
 	now += 60 * second // they were always up; what was learned of the crowd has aged
 	r.sends = r.sends[:0]
 	for i := range uint64(40) {
-		b.Request(now, request0(1000+i, 0, now))
+		b.Request(now, newTestRequest(1000+i, 0, now))
 	}
 	used := map[uint32]bool{}
 	for _, x := range r.sends {
@@ -329,15 +329,15 @@
 
 // A fifth of the new endpoints fail all that they are asked. A sidecar with three requests a second and one with a
 // hundred, alone with what they see: both serve nearly all, the busy one finds them soon.
-func TestBadOnesAmongNewEndpoints(t *testing.T) {
+func TestOutliersAmongNewEndpoints(t *testing.T) {
 	for _, c := range []struct {
 		rate  float64
 		least float64 // part served
 	}{{3, 0.9}, {100, 0.97}} {
 		s := testSettings()
-		s.Balancers, s.Prices.Probe = 80, probeSpend*probeCalm/0.05
-		b, r := start(t, s, ready(24))
-		list := ready(60)
+		s.Balancers, s.Prices.Probe = 80, probeBudget*calmProbeShare/0.05
+		b, r := startBalancer(t, s, readyEndpoints(24))
+		list := readyEndpoints(60)
 		for i := 24; i < 60; i++ {
 			list[i].StartTime = second
 		}
@@ -384,7 +384,7 @@
 	work  monotime.Micros
 	can   func(e uint32, at monotime.Micros) float64 // cores' worth; 0 fails all at once
 
-	rng    source
+	rng    randomSource
 	id     uint64
 	timers []int                      // of each balancer that were scheduled
 	sent   []int                      // of each balancer that were carried out
@@ -406,11 +406,11 @@
 		sends: map[uint32][]monotime.Micros{}, timers: make([]int, len(rates)), sent: make([]int, len(rates)),
 		begun: map[uint64]monotime.Micros{}, tries: map[uint64]int{}, asked: make([]int, len(rates)), served: make([]int, len(rates))}
 	for i := range rates {
-		b, out := start(t, s, nil)
-		b.rng = source(i)
-		b.work = ewma{float64(work), settled}
+		b, out := startBalancer(t, s, nil)
+		b.random = randomSource(i)
+		b.meanWork = ewma{float64(work), manySamples}
 		for k := range b.classes {
-			b.classes[k].work = b.work
+			b.classes[k].meanWork = b.meanWork
 		}
 		c.fleet, c.outs = append(c.fleet, b), append(c.outs, out)
 	}
@@ -437,7 +437,7 @@
 		}
 		c.free[x.endpoint] = max(c.free[x.endpoint], now) + monotime.Micros(float64(c.work)/can)
 		c.held[x.endpoint]++
-		c.at(now, max(c.free[x.endpoint], now+monotime.Micros(float64(c.work)*cores/can)), func(then monotime.Micros) {
+		c.at(now, max(c.free[x.endpoint], now+monotime.Micros(float64(c.work)*assumedCores/can)), func(then monotime.Micros) {
 			c.held[x.endpoint]--
 			c.answer(then, i, x, OK, then-now)
 		})
@@ -463,8 +463,8 @@
 	b.Outcome(now, Outcome{ID: x.id, Attempt: c.tries[x.id], Endpoint: x.endpoint, Status: status, Latency: latency, Settled: status == OK})
 	c.tries[x.id]++
 	if status == OK {
-		c.served[i] += int(share(now-c.begun[x.id] <= b.s.Classes[0].Aim))
-		c.lately += int(share(now >= c.late))
+		c.served[i] += int(indicator(now-c.begun[x.id] <= b.settings.Classes[0].Aim))
+		c.lately += int(indicator(now >= c.late))
 	}
 	c.carry(now, i)
 }
@@ -482,7 +482,7 @@
 				c.id++
 				c.asked[i]++
 				c.begun[c.id] = now
-				b.Request(now, Request{ID: c.id, Deadline: now + b.s.Classes[0].GiveUp})
+				b.Request(now, Request{ID: c.id, Deadline: now + b.settings.Classes[0].GiveUp})
 				c.carry(now, i)
 			}
 		}
@@ -491,7 +491,7 @@
 
 // The power comes back: five hundred balancers start with all endpoints cold, of which the list tells a few at first. What
 // each alone takes for its small part is many times what the few can do. None may be pushed over, and what they serve grows.
-func TestPowerCutPushesNobodyOver(t *testing.T) {
+func TestPowerCutCollapsesNoEndpoint(t *testing.T) {
 	for _, told := range []int{500, 50, 5000} { // the size of the fleet, right and wrong by ten either way
 		t.Run(fmt.Sprint(told), func(t *testing.T) { powerCut(t, told) })
 	}
@@ -504,14 +504,14 @@
 	s.Contract.OverloadFor, s.Contract.RampTime = 2*second, 20*second
 	c := newCrowd(t, s, slices.Repeat([]float64{6}, balancers), 35_000)
 	c.can = func(_ uint32, at monotime.Micros) float64 {
-		return cores * (s.Contract.ColdFrom + (1-s.Contract.ColdFrom)*float64(at)/float64(s.Contract.RampTime))
+		return assumedCores * (s.Contract.ColdFrom + (1-s.Contract.ColdFrom)*float64(at)/float64(s.Contract.RampTime))
 	}
 	steps := []struct {
 		at monotime.Micros
 		n  int
 	}{{0, 1}, {300_000, 4}, {800_000, 12}, {1_500_000, 30}, {end, 0}}
 	for i, now := range steps[:len(steps)-1] {
-		list := ready(now.n)
+		list := readyEndpoints(now.n)
 		for i := range list {
 			list[i].StartTime = 1
 		}
@@ -545,16 +545,16 @@
 // other's cost.
 func TestQuietBesideBusy(t *testing.T) {
 	s := testSettings()
-	s.Prices.Probe = probeSpend * probeCalm / 0.05
+	s.Prices.Probe = probeBudget * calmProbeShare / 0.05
 	c := newCrowd(t, s, []float64{3, 400}, 35_000)
 	c.can = func(e uint32, at monotime.Micros) float64 {
 		if e <= 3 && at > 10*second && at < 20*second {
 			return 0
 		}
-		return cores
+		return assumedCores
 	}
 	for _, b := range c.fleet {
-		b.Members(0, ListFull, ready(12))
+		b.Members(0, ListFull, readyEndpoints(12))
 	}
 	c.play(0, 40*second)
 	quiet, busy := float64(c.served[0])/float64(c.asked[0]), float64(c.served[1])/float64(c.asked[1])
@@ -564,7 +564,7 @@
 	bad := 0
 	for e := uint32(1); e <= 3; e++ {
 		for _, at := range c.sends[e] {
-			bad += int(share(at > 12*second && at < 20*second))
+			bad += int(indicator(at > 12*second && at < 20*second))
 		}
 	}
 	if part := float64(bad) / (8 * 403); part > 0.05 {
@@ -573,15 +573,15 @@
 }
 
 // One balancer whose endpoints all come up at once serves in the first second, however wrong its first guess of their work is.
-func TestAloneAmongColdOnes(t *testing.T) {
+func TestSingleBalancerWithAllEndpointsWarming(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1
 	s.Contract.OverloadFor, s.Contract.RampTime = 2*second, 20*second
 	s.Classes[0].Aim, s.Classes[0].GiveUp = 2*second, 4*second // a guess of 400 ms
 	for seed := range uint64(20) {
-		b, r := start(t, s, nil)
-		b.rng = source(seed)
-		list := ready(1)
+		b, r := startBalancer(t, s, nil)
+		b.random = randomSource(seed)
+		list := readyEndpoints(1)
 		list[0].StartTime = second
 		b.Members(second, ListFull, list)
 		for now := second; now < 2*second; now += 5000 {
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -35,22 +35,22 @@
 
 // recorder keeps what a balancer asks of its host.
 type recorder struct {
-	sends   []sent
-	waits   []monotime.Micros // of the sends
-	refused []uint64
-	failed  []uint64
-	cancels []uint64
-	probes  []uint32
-	timers  []uint32
-	delays  []monotime.Micros
-	watches int
-	logs    []string
+	sends    []sent
+	timeouts []monotime.Micros // of the sends
+	rejected []uint64
+	failed   []uint64
+	cancels  []uint64
+	probes   []uint32
+	timers   []uint32
+	delays   []monotime.Micros
+	watches  int
+	logs     []string
 }
 
 func (r *recorder) Send(id uint64, e uint32, timeout monotime.Micros) {
-	r.sends, r.waits = append(r.sends, sent{id, e}), append(r.waits, timeout)
+	r.sends, r.timeouts = append(r.sends, sent{id, e}), append(r.timeouts, timeout)
 }
-func (r *recorder) Refuse(id uint64, _ monotime.Micros) { r.refused = append(r.refused, id) }
+func (r *recorder) Refuse(id uint64, _ monotime.Micros) { r.rejected = append(r.rejected, id) }
 func (r *recorder) Fail(id uint64)                      { r.failed = append(r.failed, id) }
 func (r *recorder) Cancel(id uint64, _ int)             { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(delay monotime.Micros, token uint32) {
@@ -61,7 +61,7 @@
 func (r *recorder) Log(line string) { r.logs = append(r.logs, line) }
 
 // ready returns n ready endpoints with ids from 1; pairs share a cell and a zone.
-func ready(n int) []Endpoint {
+func readyEndpoints(n int) []Endpoint {
 	list := make([]Endpoint, n)
 	for i := range list {
 		list[i] = Endpoint{ID: uint32(i + 1), Zone: uint8(i / 2), Cell: uint16(i / 2), Share: 1}
@@ -69,7 +69,7 @@
 	return list
 }
 
-func start(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder) {
+func startBalancer(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder) {
 	t.Helper()
 	r := &recorder{}
 	b, err := New(s, 7, r)
@@ -81,7 +81,7 @@
 	return b, r
 }
 
-func request0(id uint64, class uint8, now monotime.Micros) Request {
+func newTestRequest(id uint64, class uint8, now monotime.Micros) Request {
 	return Request{ID: id, Class: class, Deadline: now + second}
 }
 
--- a/balancer/hold_test.go
+++ b/balancer/hold_test.go
@@ -14,9 +14,9 @@
 }
 
 // A quiet balancer's pooled answers are old: without fresh ones it would send by what was true long ago.
-func TestQuietBalancerAsksBeforeItSends(t *testing.T) {
-	b, r := start(t, holding(), ready(4))
-	b.Request(second, request0(1, 0, second))
+func TestQuietBalancerProbesBeforeItSends(t *testing.T) {
+	b, r := startBalancer(t, holding(), readyEndpoints(4))
+	b.Request(second, newTestRequest(1, 0, second))
 	if len(r.sends) != 0 || len(r.probes) != 3 {
 		t.Fatalf("sends %v, probes %v: 3 probes and no send wanted", r.sends, r.probes)
 	}
@@ -30,53 +30,53 @@
 }
 
 // Probes may be lost: a held request must go out all the same, and end by its deadline.
-func TestHeldRequestDoesNotWaitForLostProbes(t *testing.T) {
+func TestQueuedRequestDoesNotWaitForLostProbes(t *testing.T) {
 	for _, left := range []monotime.Micros{second, 10_000} {
-		b, r := start(t, holding(), ready(4))
+		b, r := startBalancer(t, holding(), readyEndpoints(4))
 		b.Request(second, Request{ID: 1, Deadline: second + left})
 		i := len(r.timers) - 1
 		if r.delays[i] > min(40_000, left) {
 			t.Errorf("held for %d with %d left", r.delays[i], left)
 		}
 		b.Timer(second+r.delays[i], r.timers[i])
-		if len(r.sends)+len(r.refused) != 1 {
-			t.Errorf("%d left: sends %v, refused %v", left, r.sends, r.refused)
+		if len(r.sends)+len(r.rejected) != 1 {
+			t.Errorf("%d left: sends %v, refused %v", left, r.sends, r.rejected)
 		}
 		// Answers of the old round come late; they must not release the next one early.
 		old := r.probes
-		b.Request(2*second, request0(2, 0, 2*second))
+		b.Request(2*second, newTestRequest(2, 0, 2*second))
 		for _, e := range old {
-			if at := b.byID[e]; at.asked != b.round {
+			if at := b.endpointsByID[e]; at.awaitedInRound != b.queueRound {
 				b.Probed(2*second, e, ConnectFailed, 500, nil)
 			}
 		}
-		if b.requests[2] != nil && !b.requests[2].held && b.asked > 0 {
+		if b.requests[2] != nil && !b.requests[2].queued && b.awaitedProbes > 0 {
 			t.Error("released by answers of another round")
 		}
 	}
 }
 
 // A client may leave while its request is held: the record must not be sent later for another.
-func TestHeldRequestOfGoneClient(t *testing.T) {
-	b, r := start(t, holding(), ready(4))
-	b.Request(second, request0(1, 0, second))
+func TestQueuedRequestOfGoneClient(t *testing.T) {
+	b, r := startBalancer(t, holding(), readyEndpoints(4))
+	b.Request(second, newTestRequest(1, 0, second))
 	b.ClientGone(second+1, 1)
 	for _, e := range r.probes {
 		b.Probed(second+1000, e, OK, 500, []float32{1})
 	}
-	if len(r.sends) != 0 || len(b.held) != 0 || len(b.requests) != 0 {
-		t.Errorf("sends %v, held %d", r.sends, len(b.held))
+	if len(r.sends) != 0 || len(b.queued) != 0 || len(b.requests) != 0 {
+		t.Errorf("sends %v, held %d", r.sends, len(b.queued))
 	}
 }
 
 // Where reports are made anew more seldom than work is done, all who ask follow the same old one.
-func TestNoHoldOnRarelyRenewedReports(t *testing.T) {
+func TestNoQueueingOnRarelyRenewedReports(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		next  float32 // what the endpoint says each time it is asked again
 		holds bool
 	}{{"renewed", 1, true}, {"the same for long", 0, false}} {
-		b, r := start(t, holding(), ready(4))
+		b, r := startBalancer(t, holding(), readyEndpoints(4))
 		now, load := second, float32(5)
 		for range 40 {
 			load += c.next
@@ -84,30 +84,30 @@
 			b.Probed(now, 1, OK, 500, []float32{load})
 		}
 		now += 5 * second
-		b.Request(now, request0(1, 0, now))
+		b.Request(now, newTestRequest(1, 0, now))
 		if held := len(r.sends) == 0; held != c.holds {
-			t.Errorf("%s: held %v, want %v (refresh %.0f us)", c.name, held, c.holds, b.refresh())
+			t.Errorf("%s: held %v, want %v (refresh %.0f us)", c.name, held, c.holds, b.reportInterval())
 		}
 	}
 }
 
 // An old low answer must not win over what is known now.
-func TestAnswersFadeToTheUsualLoad(t *testing.T) {
-	b, _ := start(t, testSettings(), ready(4))
+func TestReportsFadeToTypicalLoad(t *testing.T) {
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(4))
 	b.Probed(0, 1, OK, 500, []float32{0})
-	b.usual = ewma{v: 4, n: settled}
-	e := b.byID[1]
-	if l := b.load(1, e); l > 0.1 {
+	b.typicalLoad = ewma{value: 4, samples: manySamples}
+	e := b.endpointsByID[1]
+	if l := b.predictLoad(1, e); l > 0.1 {
 		t.Errorf("fresh answer of 0: load %.2f", l)
 	}
-	if l := b.load(10*second, e); l < 3.9 {
+	if l := b.predictLoad(10*second, e); l < 3.9 {
 		t.Errorf("answer of 0, ten seconds old: load %.2f, want the usual 4", l)
 	}
 }
 
 // With a thousand balancers at a cold endpoint, each alone saves too slowly for one request; their sum must
 // still come near what the endpoint can do, and never near what pushes it over.
-func TestColdRoomOfManyQuietBalancers(t *testing.T) {
+func TestWarmupCapacityOfManyQuietBalancers(t *testing.T) {
 	s := testSettings()
 	const balancers, perSecond, endpoints, work = 400, 2.0, 41, 40_000.0
 	sent := 0.0
@@ -118,18 +118,18 @@
 			t.Fatal(err)
 		}
 		b.Start(0)
-		b.Members(0, ListCached, ready(endpoints-1))
-		b.work = ewma{v: work, n: settled}
+		b.Members(0, ListCached, readyEndpoints(endpoints-1))
+		b.meanWork = ewma{value: work, samples: manySamples}
 		for now := monotime.Micros(0); now < 10*second; now += second / 2 {
-			b.sentWork.add(now, work*perSecond/2)
+			b.sentWorkRate.add(now, work*perSecond/2)
 		}
 		start := 10 * second
 		b.Members(start, ListDelta, []Endpoint{{ID: 999, StartTime: start}})
-		e := b.byID[999]
+		e := b.endpointsByID[999]
 		for now := start; now < start+second; now += second / 2 {
-			b.sentWork.add(now, work*perSecond/2)
-			if b.coldRoom(now, e, work) {
-				e.room -= work * coldCharge
+			b.sentWorkRate.add(now, work*perSecond/2)
+			if b.hasWarmupCapacity(now, e, work) {
+				e.warmupTokens -= work * warmupCharge
 				sent += work
 			}
 		}
@@ -142,29 +142,29 @@
 }
 
 // In a deploy most endpoints are cold at once: the few warm ones are no measure of what each cold one can take.
-func TestColdRoomWhenFewAreWarm(t *testing.T) {
+func TestWarmupCapacityWhenFewAreWarm(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1
-	list := ready(10)
+	list := readyEndpoints(10)
 	for i := range list[1:] {
 		list[1+i].StartTime = 10 * second
 	}
-	b, _ := start(t, s, nil)
+	b, _ := startBalancer(t, s, nil)
 	b.Members(10*second, ListDelta, list)
 	for now := 9 * second; now <= 10*second; now += 10_000 {
-		b.sentWork.add(now, 40_000) // four cores' worth a second
+		b.sentWorkRate.add(now, 40_000) // four cores' worth a second
 	}
-	e := b.byID[2]
-	e.room, e.roomAt = 0, 10*second
-	b.coldRoom(10*second+second/10, e, 1)
+	e := b.endpointsByID[2]
+	e.warmupTokens, e.warmupRefilledAt = 0, 10*second
+	b.hasWarmupCapacity(10*second+second/10, e, 1)
 	// Its part by warmth is 0.2/(1+9*0.2) of 4 core-seconds a second.
-	if most := 0.2 / 2.8 * 4 * float64(second) / 10 * 1.1; e.room > most {
-		t.Errorf("room for %.0f us of work after 0.1 s, %.0f at most", e.room, most)
+	if most := 0.2 / 2.8 * 4 * float64(second) / 10 * 1.1; e.warmupTokens > most {
+		t.Errorf("room for %.0f us of work after 0.1 s, %.0f at most", e.warmupTokens, most)
 	}
 }
 
 // Each quiet balancer sees few tenants, often one: that says nothing of anyone's share.
-func TestQuietBalancerDoesNotJudgeShares(t *testing.T) {
+func TestQuietBalancerDoesNotWeighTenants(t *testing.T) {
 	s := testSettings()
 	s.Tenants = []Tenant{{Name: "a", Allowance: 100}, {Name: "b", Allowance: 100}}
 	s.OverShareWorth = 0.1
@@ -172,12 +172,12 @@
 		rate  int
 		judge bool
 	}{{2, false}, {100, true}} {
-		b, _ := start(t, s, ready(2))
+		b, _ := startBalancer(t, s, readyEndpoints(2))
 		for i := range 4 * c.rate {
-			b.tenants[0].add(4*second*monotime.Micros(i)/monotime.Micros(4*c.rate), 1)
+			b.tenantRates[0].add(4*second*monotime.Micros(i)/monotime.Micros(4*c.rate), 1)
 		}
 		r := &request{Request: Request{Tenant: 0}}
-		if judged := b.shareWorth(4*second, r) < 1; judged != c.judge {
+		if judged := b.tenantWeight(4*second, r) < 1; judged != c.judge {
 			t.Errorf("%d requests a second: judged %v, want %v", c.rate, judged, c.judge)
 		}
 	}
@@ -185,16 +185,16 @@
 
 // Where much of a request's time is waiting for others, requests held side by side slow each other little: taken
 // for crowding, that refused requests on quiet days.
-func TestReportedServiceTimeTellsCoreShare(t *testing.T) {
+func TestReportedServiceTimeSetsCoreFraction(t *testing.T) {
 	s := testSettings()
 	s.Fields = []Field{FieldLatency, FieldInflight}
-	b, _ := start(t, s, ready(2))
-	b.work = ewma{v: 200_000, n: settled}
+	b, _ := startBalancer(t, s, readyEndpoints(2))
+	b.meanWork = ewma{value: 200_000, samples: manySamples}
 	crowd := map[float32]float64{}
 	for _, ms := range []float32{200, 50} {
-		b.service = ewma{}
+		b.serviceTime = ewma{}
 		b.Probed(second, 1, OK, 500, []float32{ms, 7})
-		crowd[ms] = b.crowding(second, b.byID[1])
+		crowd[ms] = b.queueDelayFactor(second, b.endpointsByID[1])
 	}
 	if crowd[200] < 3.9 || crowd[50] > 1.5 {
 		t.Errorf("crowding at 7 held: %.2f if all of the time needs a core, %.2f if a quarter", crowd[200], crowd[50])
@@ -203,34 +203,34 @@
 
 // With most endpoints full, each retry of what never ran meets the next full one: without a budget, the retries
 // of a jam outnumber its requests many times.
-func TestFullAnswersSpendTheRetryBudget(t *testing.T) {
+func TestRejectedAttemptsSpendTheRetryBudget(t *testing.T) {
 	s := testSettings()
 	s.Limits.MaxAttempts = 50
-	b, r := start(t, s, ready(40))
+	b, r := startBalancer(t, s, readyEndpoints(40))
 	const requests = 100
 	for id := range uint64(requests) {
 		now := second + 10_000*monotime.Micros(id)
-		b.Request(now, request0(id, 0, now))
+		b.Request(now, newTestRequest(id, 0, now))
 		for i := 0; b.requests[id] != nil; i++ {
 			b.Outcome(now, Outcome{ID: id, Attempt: i, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: Full})
 		}
 	}
-	if retries := len(r.sends) - requests; float64(retries) > budgetBurst+RetryShare*requests+1 {
+	if retries := len(r.sends) - requests; float64(retries) > retryBurst+RetryShare*requests+1 {
 		t.Errorf("%d retries of %d requests, all answered full", retries, requests)
 	}
 }
 
 // At the start of a small fleet two answers are pooled before the others: they must not take all the traffic.
 func TestPoolOfFewDoesNotTakeAll(t *testing.T) {
-	b, r := start(t, testSettings(), ready(10))
+	b, r := startBalancer(t, testSettings(), readyEndpoints(10))
 	b.Probed(1000, 1, OK, 500, []float32{1})
 	b.Probed(1000, 2, OK, 500, []float32{1})
 	few := 0
 	for id := range uint64(12) {
-		b.Request(2000, request0(id, 0, 2000))
+		b.Request(2000, newTestRequest(id, 0, 2000))
 	}
 	for _, s := range r.sends {
-		few += int(share(s.endpoint <= 2))
+		few += int(indicator(s.endpoint <= 2))
 	}
 	if len(r.sends) != 12 || few > 8 {
 		t.Errorf("%d of %d sends to the two endpoints that have answered", few, len(r.sends))
@@ -239,8 +239,8 @@
 
 // The watch must be shorter than the span in which an answer is recent: watched for that long, reports made anew
 // every few milliseconds would seem as old as the limit, and holds would stop (incident id71e59).
-func TestFreshReportsAreSeenAsFresh(t *testing.T) {
-	b, r := start(t, holding(), ready(4))
+func TestReportIntervalOfFreshReports(t *testing.T) {
+	b, r := startBalancer(t, holding(), readyEndpoints(4))
 	now, load := second, float32(1)
 	for range 400 {
 		r.timers, r.delays = nil, nil
@@ -248,13 +248,13 @@
 		b.Probed(now, 1, OK, 500, []float32{load})
 		now += 10 * second
 		for i, token := range r.timers {
-			if token == tokenCheck {
+			if token == tokenRecheck {
 				load++
 				b.Probed(now-10*second+r.delays[i]+5000, 1, OK, 500, []float32{load})
 			}
 		}
 	}
-	if span := recent * b.work.v; b.watched == 0 || b.refresh() > 0.8*span {
-		t.Errorf("refresh %.0f after %.0f watched, limit %.0f", b.refresh(), b.watched, span)
+	if span := recentWorks * b.meanWork.value; b.reportWatchTime == 0 || b.reportInterval() > 0.8*span {
+		t.Errorf("refresh %.0f after %.0f watched, limit %.0f", b.reportInterval(), b.reportWatchTime, span)
 	}
 }
--- a/balancer/learned.go
+++ b/balancer/learned.go
@@ -73,12 +73,12 @@
 	Trial  bool            `json:"Trial"`
 }
 
-func (a ewma) learned() Average { return Average{a.v, a.n} }
+func (a ewma) learned() Average { return Average{a.value, a.samples} }
 
 func (a Average) restored() ewma { return ewma{sane(a.V), sane(a.N)} }
 
-func (m *meter) set(now monotime.Micros, rate float64) {
-	m.sum, m.at = sane(rate)*float64(meterSpan)/float64(second), now
+func (m *rateMeter) set(now monotime.Micros, rate float64) {
+	m.sum, m.updatedAt = sane(rate)*float64(rateMeterSpan)/float64(second), now
 }
 
 // sane is a figure that may be used: no other than a finite one from 0 on was ever learned.
@@ -91,32 +91,32 @@
 
 // Learned returns what the balancer knows at an instant. Endpoints that are gone are left out.
 func (b *Balancer) Learned(now monotime.Micros) *Learned {
-	l := &Learned{Demand: b.demand.rate(now), SentWork: b.sentWork.rate(now), Refused: b.refused.v,
-		Work: b.work.learned(), Fleet: b.fleet.learned(), Trend: b.trend, Trust: b.trust, Lag: b.lag.learned(),
-		Usual: b.usual.learned(), UsualCold: b.usualCold.learned(), Service: b.service.learned(), ReportsLate: b.reportsLate, Watched: b.watched, Renewed: b.renewed}
+	l := &Learned{Demand: b.requestRate.rate(now), SentWork: b.sentWorkRate.rate(now), Refused: b.rejectedRatio.value,
+		Work: b.meanWork.learned(), Fleet: b.fleetServiceTimeRatio.learned(), Trend: b.latencyTrend, Trust: b.hintTrust, Lag: b.lateReportRatio.learned(),
+		Usual: b.typicalLoad.learned(), UsualCold: b.typicalWarmingLoad.learned(), Service: b.serviceTime.learned(), ReportsLate: b.reportsLate, Watched: b.reportWatchTime, Renewed: b.reportChanges}
 	for i := range b.classes {
 		c := &b.classes[i]
-		l.Classes = append(l.Classes, LearnedClass{c.work.learned(), c.asked.rate(now), c.good.learned()})
+		l.Classes = append(l.Classes, LearnedClass{c.meanWork.learned(), c.requestRate.rate(now), c.onTimeRatio.learned()})
 	}
-	for i := range b.tenants {
-		l.Tenants = append(l.Tenants, b.tenants[i].rate(now))
+	for i := range b.tenantRates {
+		l.Tenants = append(l.Tenants, b.tenantRates[i].rate(now))
 	}
-	for _, e := range b.list {
+	for _, e := range b.endpoints {
 		if e.State == Gone {
 			continue
 		}
-		to := LearnedEndpoint{ID: e.Endpoint.ID, Start: e.StartTime, RTT: e.rtt.learned(), Pace: e.pace.learned(), PaceAge: now - e.paceAt,
-			Cold: e.cold(now, b), Whole: e.whole.learned(now), Base: e.br.base, Current: e.br.current}
+		to := LearnedEndpoint{ID: e.Endpoint.ID, Start: e.StartTime, RTT: e.rtt.learned(), Pace: e.serviceTimeRatio.learned(), PaceAge: now - e.serviceTimeObservedAt,
+			Cold: e.warmingUp(now, b), Whole: e.outlier.learned(now), Base: e.breaker.baseLatency, Current: e.breaker.currentLatency}
 		if to.Cold {
-			b.coldRoom(now, e, b.work.v)
-			to.ColdAge, to.Room, to.Share = now-e.coldFrom, e.room, e.share
+			b.hasWarmupCapacity(now, e, b.meanWork.value)
+			to.ColdAge, to.Room, to.Share = now-e.warmupStart, e.warmupTokens, e.servedTokens
 		}
-		for i := range e.ills {
-			to.Parts = append(to.Parts, e.ills[i].learned(now))
+		for i := range e.partOutliers {
+			to.Parts = append(to.Parts, e.partOutliers[i].learned(now))
 		}
-		e.br.slide(now)
-		for i := e.br.head - buckets + 1; i <= e.br.head && e.br.requests > 0; i++ {
-			at := &e.br.ring[(i+buckets)%buckets]
+		e.breaker.advance(now)
+		for i := e.breaker.newest - breakerBuckets + 1; i <= e.breaker.newest && e.breaker.requests > 0; i++ {
+			at := &e.breaker.ring[(i+breakerBuckets)%breakerBuckets]
 			to.Window = append(to.Window, [3]int{at.requests, at.accepts, at.failures})
 		}
 		l.Endpoints = append(l.Endpoints, to)
@@ -124,14 +124,14 @@
 	return l
 }
 
-func (i *ill) learned(now monotime.Micros) Ejection {
-	return Ejection{Streak: i.streak, Left: max(0, i.outTo-now), For: i.outFor, Trial: i.trial}
+func (i *outlierStats) learned(now monotime.Micros) Ejection {
+	return Ejection{Streak: i.consecutiveFailures, Left: max(0, i.ejectedUntil-now), For: i.ejectionTime, Trial: i.trialPending}
 }
 
-func (e Ejection) restored(now, age monotime.Micros) ill {
-	i := ill{streak: max(0, e.Streak), outFor: min(max(0, e.For), window)}
-	if left := min(e.Left, 2*window) - age; left > 0 {
-		i.outTo = now + left
+func (e Ejection) restored(now, age monotime.Micros) outlierStats {
+	i := outlierStats{consecutiveFailures: max(0, e.Streak), ejectionTime: min(max(0, e.For), breakerWindow)}
+	if left := min(e.Left, 2*breakerWindow) - age; left > 0 {
+		i.ejectedUntil = now + left
 	}
 	return i // a trial's outcome went to the one who sent it
 }
@@ -141,64 +141,64 @@
 // the settings' classes or tenants is passed over, part by part.
 func (b *Balancer) Restore(now, age monotime.Micros, l *Learned) {
 	age = max(0, age)
-	b.demand.set(now, l.Demand)
-	b.sentWork.set(now, l.SentWork)
-	b.refused = ewma{min(1, sane(l.Refused)), settled}
-	b.work, b.fleet = l.Work.restored(), l.Fleet.restored()
-	b.trend, b.trust = min(trendMost, max(1/trendMost, sane(l.Trend))), min(1, sane(l.Trust))
-	b.lag, b.usual, b.service = l.Lag.restored(), l.Usual.restored(), l.Service.restored()
-	b.usualCold = l.UsualCold.restored()
-	b.reportsLate, b.watched, b.renewed = l.ReportsLate, sane(l.Watched), sane(l.Renewed)
+	b.requestRate.set(now, l.Demand)
+	b.sentWorkRate.set(now, l.SentWork)
+	b.rejectedRatio = ewma{min(1, sane(l.Refused)), manySamples}
+	b.meanWork, b.fleetServiceTimeRatio = l.Work.restored(), l.Fleet.restored()
+	b.latencyTrend, b.hintTrust = min(maxTrend, max(1/maxTrend, sane(l.Trend))), min(1, sane(l.Trust))
+	b.lateReportRatio, b.typicalLoad, b.serviceTime = l.Lag.restored(), l.Usual.restored(), l.Service.restored()
+	b.typicalWarmingLoad = l.UsualCold.restored()
+	b.reportsLate, b.reportWatchTime, b.reportChanges = l.ReportsLate, sane(l.Watched), sane(l.Renewed)
 	fits := len(l.Classes) == len(b.classes)
 	for i := range b.classes {
 		if fits && l.Classes[i].Work.V > 0 {
-			b.classes[i].work, b.classes[i].good = l.Classes[i].Work.restored(), l.Classes[i].Good.restored()
-			b.classes[i].asked.set(now, l.Classes[i].Asked)
+			b.classes[i].meanWork, b.classes[i].onTimeRatio = l.Classes[i].Work.restored(), l.Classes[i].Good.restored()
+			b.classes[i].requestRate.set(now, l.Classes[i].Asked)
 		}
 	}
-	if len(l.Tenants) == len(b.tenants) {
-		for i := range b.tenants {
-			b.tenants[i].set(now, l.Tenants[i])
+	if len(l.Tenants) == len(b.tenantRates) {
+		for i := range b.tenantRates {
+			b.tenantRates[i].set(now, l.Tenants[i])
 		}
 	}
 	for i := range l.Endpoints {
-		if e := b.byID[l.Endpoints[i].ID]; e != nil && e.StartTime == l.Endpoints[i].Start {
-			e.restore(now, age, &l.Endpoints[i], len(b.classes)+len(b.tenants))
-			e.shareAt = b.served
+		if e := b.endpointsByID[l.Endpoints[i].ID]; e != nil && e.StartTime == l.Endpoints[i].Start {
+			e.restore(now, age, &l.Endpoints[i], len(b.classes)+len(b.tenantRates))
+			e.servedWorkAtRefill = b.servedWork
 		}
 	}
-	b.strongAt = now
+	b.capacityExpiresAt = now
 }
 
 func (e *endpoint) restore(now, age monotime.Micros, l *LearnedEndpoint, parts int) {
-	e.rtt, e.pace, e.paceAt = l.RTT.restored(), l.Pace.restored(), now-l.PaceAge-age
-	e.whole = l.Whole.restored(now, age)
+	e.rtt, e.serviceTimeRatio, e.serviceTimeObservedAt = l.RTT.restored(), l.Pace.restored(), now-l.PaceAge-age
+	e.outlier = l.Whole.restored(now, age)
 	if len(l.Parts) == parts {
 		for i := range l.Parts {
-			e.ills[i] = l.Parts[i].restored(now, age)
+			e.partOutliers[i] = l.Parts[i].restored(now, age)
 		}
 	}
 	if l.Cold {
 		// Its warm-up goes on, and so does the account of what it may get: nothing is given twice.
 		from := now - l.ColdAge - age
-		if e.isCold {
-			from = max(from, e.coldFrom)
+		if e.isWarmingUp {
+			from = max(from, e.warmupStart)
 		}
-		e.isCold, e.coldFrom, e.room, e.roomAt, e.share = true, min(from, now), sane(l.Room), now, sane(l.Share)
+		e.isWarmingUp, e.warmupStart, e.warmupTokens, e.warmupRefilledAt, e.servedTokens = true, min(from, now), sane(l.Room), now, sane(l.Share)
 	}
-	e.br = breaker{base: sane(l.Base), current: sane(l.Current)}
-	if len(l.Window) != buckets {
+	e.breaker = breaker{baseLatency: sane(l.Base), currentLatency: sane(l.Current)}
+	if len(l.Window) != breakerBuckets {
 		return
 	}
-	k := &e.br
-	k.slide(now)
-	const width = window / buckets
+	k := &e.breaker
+	k.advance(now)
+	const width = breakerWindow / breakerBuckets
 	for i, at := range l.Window {
-		number := k.head - int64(buckets-1-i) - age/width
-		if number <= k.head-buckets || at[1] < 0 || at[2] < 0 || at[0] < at[1]+at[2] {
+		number := k.newest - int64(breakerBuckets-1-i) - age/width
+		if number <= k.newest-breakerBuckets || at[1] < 0 || at[2] < 0 || at[0] < at[1]+at[2] {
 			continue
 		}
-		k.ring[(number+buckets)%buckets] = bucket{at[0], at[1], at[2]}
+		k.ring[(number+breakerBuckets)%breakerBuckets] = bucket{at[0], at[1], at[2]}
 		k.requests += at[0]
 		k.accepts += at[1]
 	}
@@ -207,10 +207,10 @@
 // HandOver says whether another balancer has taken over what this one had learned, and with it all that cold
 // endpoints may still get: this one sends them nothing more, or the two together could push one over.
 func (b *Balancer) HandOver(now monotime.Micros, yes bool) {
-	b.handed = yes
-	for _, e := range b.list {
-		if e.isCold {
-			e.room, e.roomAt, e.share, e.shareAt = 0, now, 0, b.served
+	b.handedOver = yes
+	for _, e := range b.endpoints {
+		if e.isWarmingUp {
+			e.warmupTokens, e.warmupRefilledAt, e.servedTokens, e.servedWorkAtRefill = 0, now, 0, b.servedWork
 		}
 	}
 }
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -11,9 +11,9 @@
 )
 
 // taught returns a balancer that has seen a mixed minute: slow, failing and cold endpoints among others.
-func taught(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder, monotime.Micros) {
+func trainedBalancer(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder, monotime.Micros) {
 	t.Helper()
-	b, r := start(t, s, list)
+	b, r := startBalancer(t, s, list)
 	rng := rand.New(rand.NewPCG(4, 4))
 	now := monotime.Micros(0)
 	for id := range uint64(4000) {
@@ -42,15 +42,15 @@
 	return b, r, now
 }
 
-func tenants(s Settings) Settings {
+func withTenants(s Settings) Settings {
 	s.Tenants = []Tenant{{Name: "a", Allowance: 100, Share: 0.5}, {Name: "b", Allowance: 100, Share: 0.5}}
 	return s
 }
 
 // What one balancer has learned, another that takes its place judges by, at another origin of time.
-func TestLearnedIsTakenOver(t *testing.T) {
-	s := tenants(testSettings())
-	old, _, now := taught(t, s, ready(6))
+func TestLearnedStateIsRestored(t *testing.T) {
+	s := withTenants(testSettings())
+	old, _, now := trainedBalancer(t, s, readyEndpoints(6))
 	text, err := json.Marshal(old.Learned(now))
 	if err != nil {
 		t.Fatal(err)
@@ -59,8 +59,8 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		t.Fatal(err)
 	}
-	list := ready(6)
-	list[5].StartTime = old.byID[6].StartTime
+	list := readyEndpoints(6)
+	list[5].StartTime = old.endpointsByID[6].StartTime
 	const shift = 1_000 * second
 	next, err := New(s, 8, &recorder{})
 	if err != nil {
@@ -76,38 +76,38 @@
 	next.Members(now+shift, ListCached, list)
 	next.Restore(now+shift, 0, &l)
 	out := 0
-	for id, a := range old.byID {
-		b := next.byID[id]
-		if x, y := old.predict(now, a, 5000), next.predict(now+shift, b, 5000); a.inflight == 0 && !b.hasLoad && !old.reportsLate &&
+	for id, a := range old.endpointsByID {
+		b := next.endpointsByID[id]
+		if x, y := old.predictLatency(now, a, 5000), next.predictLatency(now+shift, b, 5000); a.inflight == 0 && !b.hasReport && !old.reportsLate &&
 			math.Abs(x/y-1) > 0.5 {
 			t.Errorf("endpoint %d: %v expected by the old one, %v by the new", id, x, y)
 		}
-		if x, y := a.paceNow(now, old), b.paceNow(now+shift, next); !near(x, y) {
+		if x, y := a.currentServiceTimeRatio(now, old), b.currentServiceTimeRatio(now+shift, next); !near(x, y) {
 			t.Errorf("endpoint %d: pace %v, then %v", id, x, y)
 		}
-		a.br.slide(now)
-		b.br.slide(now + shift)
-		if x, y := a.br, b.br; x.requests != y.requests || x.accepts != y.accepts || x.base != y.base || id < 6 && x.requests == 0 {
-			t.Errorf("endpoint %d: breaker %d of %d, base %v; then %d of %d, base %v", id, x.accepts, x.requests, x.base,
-				y.accepts, y.requests, y.base)
+		a.breaker.advance(now)
+		b.breaker.advance(now + shift)
+		if x, y := a.breaker, b.breaker; x.requests != y.requests || x.accepts != y.accepts || x.baseLatency != y.baseLatency || id < 6 && x.requests == 0 {
+			t.Errorf("endpoint %d: breaker %d of %d, base %v; then %d of %d, base %v", id, x.accepts, x.requests, x.baseLatency,
+				y.accepts, y.requests, y.baseLatency)
 		}
 		for class := range uint8(5) {
 			r := &request{Request: Request{Class: class, Tenant: 1}}
-			if x, y := old.shuns(now, a, r), next.shuns(now+shift, b, r); x != y {
+			if x, y := old.isEjectedFor(now, a, r), next.isEjectedFor(now+shift, b, r); x != y {
 				t.Errorf("endpoint %d, class %d: ejected %v, then %v", id, class, x, y)
 			} else if x {
 				out++
 			}
 		}
-		if a.cold(now, old) != b.cold(now+shift, next) || !near(a.warmth(now, old), b.warmth(now+shift, next)) {
-			t.Errorf("endpoint %d: warmth %v, then %v", id, a.warmth(now, old), b.warmth(now+shift, next))
+		if a.warmingUp(now, old) != b.warmingUp(now+shift, next) || !near(a.capacityFraction(now, old), b.capacityFraction(now+shift, next)) {
+			t.Errorf("endpoint %d: warmth %v, then %v", id, a.capacityFraction(now, old), b.capacityFraction(now+shift, next))
 		}
 	}
-	if out == 0 || !old.byID[6].cold(now, old) {
-		t.Errorf("nothing was learned that could have been lost: %d ejected, cold %v", out, old.byID[6].cold(now, old))
+	if out == 0 || !old.endpointsByID[6].warmingUp(now, old) {
+		t.Errorf("nothing was learned that could have been lost: %d ejected, cold %v", out, old.endpointsByID[6].warmingUp(now, old))
 	}
-	if !near(old.demand.rate(now), next.demand.rate(now+shift)) || old.trend != next.trend {
-		t.Errorf("demand %v, then %v; trend %v, then %v", old.demand.rate(now), next.demand.rate(now+shift), old.trend, next.trend)
+	if !near(old.requestRate.rate(now), next.requestRate.rate(now+shift)) || old.latencyTrend != next.latencyTrend {
+		t.Errorf("demand %v, then %v; trend %v, then %v", old.requestRate.rate(now), next.requestRate.rate(now+shift), old.latencyTrend, next.latencyTrend)
 	}
 	again := next.Learned(now + shift)
 	again.Endpoints, l.Endpoints = nil, nil
@@ -119,12 +119,12 @@
 
 // The account of a cold endpoint goes over whole: the old balancer sends it nothing more, and what both have sent
 // together stays within what one alone might have.
-func TestColdEndpointIsHandedOver(t *testing.T) {
+func TestWarmingEndpointIsHandedOver(t *testing.T) {
 	s := testSettings()
 	s.Limits.Probes = false
 	play := func(handOver bool) (sent int) {
-		list := ready(4)
-		b, r := start(t, s, list)
+		list := readyEndpoints(4)
+		b, r := startBalancer(t, s, list)
 		cold := Endpoint{ID: 9, Zone: 0, Cell: 9, Share: 1, StartTime: 1}
 		now := monotime.Micros(1)
 		b.Members(now, ListDelta, []Endpoint{cold})
@@ -133,7 +133,7 @@
 		id := uint64(0)
 		ask := func(b *Balancer, r *recorder) {
 			id++
-			b.Request(now, request0(id, 0, now))
+			b.Request(now, newTestRequest(id, 0, now))
 			if n := len(r.sends) - 1; n >= 0 && r.sends[n].id == id {
 				if r.sends[n].endpoint == 9 {
 					sent++
@@ -147,8 +147,8 @@
 				l := b.Learned(now)
 				b.HandOver(now, true)
 				old, oldR = b, r
-				b, r = start(t, s, list)
-				b.Members(now, ListCached, append(ready(4), cold))
+				b, r = startBalancer(t, s, list)
+				b.Members(now, ListCached, append(readyEndpoints(4), cold))
 				b.Restore(now, 0, l)
 			}
 			ask(b, r)
@@ -184,20 +184,20 @@
 }
 
 // An endpoint that has started anew since owes nothing to what was learned of its former process.
-func TestRestartedEndpointOwesNothing(t *testing.T) {
-	s := tenants(testSettings())
-	old, _, now := taught(t, s, ready(6))
+func TestRestartedEndpointStartsAnew(t *testing.T) {
+	s := withTenants(testSettings())
+	old, _, now := trainedBalancer(t, s, readyEndpoints(6))
 	l := old.Learned(now)
-	next, _ := start(t, s, ready(6))
+	next, _ := startBalancer(t, s, readyEndpoints(6))
 	next.Members(now, ListDelta, []Endpoint{{ID: 3, Zone: 1, Cell: 1, StartTime: now - 1}})
 	next.Restore(now, 0, l)
-	if e := next.byID[3]; e.br.requests != 0 || e.whole.streak != 0 || !e.cold(now, next) {
+	if e := next.endpointsByID[3]; e.breaker.requests != 0 || e.outlier.consecutiveFailures != 0 || !e.warmingUp(now, next) {
 		t.Errorf("%+v", e)
 	}
 }
 
 // Figures that no balancer has told change nothing for the worse: no panic, no endpoint lost.
-func TestRestoreOfNonsense(t *testing.T) {
+func TestRestoreOfInvalidState(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 9))
 	odd := func() float64 {
 		return []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5, 0, 1e300, 7}[rng.IntN(7)]
@@ -218,16 +218,16 @@
 			for range rng.IntN(9) {
 				e.Parts = append(e.Parts, Ejection{int(oddM()), oddM(), oddM(), false})
 			}
-			for range []int{0, 3, buckets}[rng.IntN(3)] {
+			for range []int{0, 3, breakerBuckets}[rng.IntN(3)] {
 				e.Window = append(e.Window, [3]int{rng.IntN(9) - 4, rng.IntN(9) - 4, rng.IntN(9) - 4})
 			}
 			l.Endpoints = append(l.Endpoints, e)
 		}
-		b, r := start(t, tenants(testSettings()), ready(6))
+		b, r := startBalancer(t, withTenants(testSettings()), readyEndpoints(6))
 		b.Restore(20*second, oddM(), l)
 		for id := range uint64(50) {
 			now := 60*second + monotime.Micros(id)*second
-			b.Request(now, request0(id, uint8(id%5), now))
+			b.Request(now, newTestRequest(id, uint8(id%5), now))
 			for _, s := range r.sends {
 				if s.id == id {
 					b.Outcome(now+1000, Outcome{ID: id, Endpoint: s.endpoint, Status: OK, Latency: 1000, Settled: true})
@@ -242,7 +242,7 @@
 
 // A change that is told before the list that another balancer held must not make endpoints of that list look as if they
 // had just come up: all of them cold, the first seconds after a handover would be refused.
-func TestListHeldElsewhereIsNotNew(t *testing.T) {
+func TestEndpointsOfCachedListAreNotNew(t *testing.T) {
 	s := testSettings()
 	s.Subscribe = false
 	r := &recorder{}
@@ -252,11 +252,11 @@
 	}
 	b.Start(0)
 	b.Members(second, ListDelta, nil)
-	b.Members(second, ListCached, ready(2))
-	late := ready(3)[2:]
+	b.Members(second, ListCached, readyEndpoints(2))
+	late := readyEndpoints(3)[2:]
 	b.Members(second, ListDelta, late)
-	for _, e := range b.list {
-		if want := e.ID == late[0].ID; e.cold(second, b) != want {
+	for _, e := range b.endpoints {
+		if want := e.ID == late[0].ID; e.warmingUp(second, b) != want {
 			t.Errorf("endpoint %d cold: %v, want %v", e.ID, !want, want)
 		}
 	}
--- a/balancer/odd_test.go
+++ b/balancer/odd_test.go
@@ -8,9 +8,9 @@
 
 // Endpoints whose reports cannot be true are avoided, and do not change what is expected of the others: neither while they
 // tell that, nor after.
-func TestOddReportsDoNotCountForAll(t *testing.T) {
+func TestImplausibleReportsDoNotCountForAll(t *testing.T) {
 	s := testSettings()
-	b, _ := start(t, s, ready(12))
+	b, _ := startBalancer(t, s, readyEndpoints(12))
 	now := monotime.Micros(1000)
 	for round := range 200 {
 		now += 5000
@@ -21,11 +21,11 @@
 		}
 		b.Probed(now, id, OK, 500, []float32{load})
 	}
-	if b.usual.v > 8 {
-		t.Errorf("others hold 2, three of twelve tell of 1e9: %.1f is taken for usual", b.usual.v)
+	if b.typicalLoad.value > 8 {
+		t.Errorf("others hold 2, three of twelve tell of 1e9: %.1f is taken for usual", b.typicalLoad.value)
 	}
-	r := &request{Request: request0(1, 0, now), arrived: now, work: 10_000}
-	if e := b.pick(now, r, nil); e == nil || e.ID <= 3 {
+	r := &request{Request: newTestRequest(1, 0, now), arrivedAt: now, work: 10_000}
+	if e := b.pickEndpoint(now, r, nil); e == nil || e.ID <= 3 {
 		t.Errorf("picked %+v", e)
 	}
 	// What is true of all is followed.
@@ -33,7 +33,7 @@
 		now += 5000
 		b.Probed(now, uint32(round%12)+1, OK, 500, []float32{40})
 	}
-	if b.usual.v < 38 {
-		t.Errorf("all hold 40, %.1f is taken for usual", b.usual.v)
+	if b.typicalLoad.value < 38 {
+		t.Errorf("all hold 40, %.1f is taken for usual", b.typicalLoad.value)
 	}
 }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -12,12 +12,12 @@
 func TestPickTakesLeastLoadPlusOwnSends(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1
-	b, r := start(t, s, ready(3))
+	b, r := startBalancer(t, s, readyEndpoints(3))
 	for i, load := range []float32{4, 0, 9} {
 		b.Probed(1000, uint32(i+1), OK, 500, []float32{load})
 	}
 	for id := range uint64(4) {
-		b.Request(2000, request0(id, 0, 2000))
+		b.Request(2000, newTestRequest(id, 0, 2000))
 	}
 	// Endpoint 2 stays least until it holds as many as endpoint 1 reported.
 	for i, s := range r.sends {
@@ -28,7 +28,7 @@
 	if len(r.sends) != 4 {
 		t.Fatalf("%d sends", len(r.sends))
 	}
-	if got := b.load(2000, b.byID[2]); math.Abs(got-4) > 0.1 {
+	if got := b.predictLoad(2000, b.endpointsByID[2]); math.Abs(got-4) > 0.1 {
 		t.Errorf("load with own sends: %v", got)
 	}
 }
@@ -38,7 +38,7 @@
 	for _, c := range []struct{ balancers, most int }{{1, 5}, {3, 3}, {15, 2}} {
 		s := testSettings()
 		s.Balancers = c.balancers
-		b, r := start(t, s, ready(4))
+		b, r := startBalancer(t, s, readyEndpoints(4))
 		for id := range uint32(4) {
 			b.Probed(1000, id+1, OK, 500, []float32{3 * float32(min(1, id))})
 		}
@@ -60,12 +60,12 @@
 
 func TestPoolAges(t *testing.T) {
 	s := testSettings()
-	b, r := start(t, s, ready(2))
+	b, r := startBalancer(t, s, readyEndpoints(2))
 	b.Probed(1000, 1, OK, 500, []float32{0})
-	now := 1000 + b.freshFor(1000) + 30*second
+	now := 1000 + b.reportLifetime(1000) + 30*second
 	seen := map[uint32]bool{}
 	for id := range uint64(20) {
-		b.Request(now, request0(id, 0, now))
+		b.Request(now, newTestRequest(id, 0, now))
 		b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK, Latency: 1000, Settled: true})
 		seen[r.sends[len(r.sends)-1].endpoint] = true
 	}
@@ -74,44 +74,44 @@
 	}
 }
 
-func TestOddReports(t *testing.T) {
-	b, _ := start(t, testSettings(), ready(1))
+func TestInvalidReportsAreIgnored(t *testing.T) {
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(1))
 	nan := float32(math.NaN())
 	for _, load := range [][]float32{nil, {}, {nan}, {-3}, {float32(math.Inf(1))}} {
 		b.Probed(1000, 1, OK, 500, load)
-		if b.list[0].hasLoad {
+		if b.endpoints[0].hasReport {
 			t.Errorf("report %v taken for a load", load)
 		}
 	}
 	b.Probed(1000, 99, OK, 500, []float32{1}) // unknown endpoint
 	b.Probed(1000, 1, OK, 500, []float32{2, 7, 9})
-	if b.load(1000, b.list[0]) != 2 {
-		t.Errorf("load %v", b.load(1000, b.list[0]))
+	if b.predictLoad(1000, b.endpoints[0]) != 2 {
+		t.Errorf("load %v", b.predictLoad(1000, b.endpoints[0]))
 	}
 }
 
 // Reports that count fewer than this balancer has there itself are late; they
 // must not steer picks.
-func TestLateReportsAreFoundOut(t *testing.T) {
-	b, r := start(t, testSettings(), ready(2))
+func TestLateReportsAreDetected(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(2))
 	for id := range uint64(3) {
-		b.Request(1000, request0(id, 0, 1000))
+		b.Request(1000, newTestRequest(id, 0, 1000))
 	}
-	busy := b.byID[r.sends[0].endpoint]
+	busy := b.endpointsByID[r.sends[0].endpoint]
 	for i := range monotime.Micros(40) {
 		busy.probing = false
-		b.probe(12_000+i, busy)
+		b.sendProbe(12_000+i, busy)
 		b.Probed(13_000+i, busy.ID, OK, 500, []float32{0})
 	}
 	if !b.reportsLate {
 		t.Fatal("not found out")
 	}
-	if got := b.load(15_000, busy); got < float64(busy.inflight) {
+	if got := b.predictLoad(15_000, busy); got < float64(busy.inflight) {
 		t.Errorf("load %v is under own in-flight %d", got, busy.inflight)
 	}
 	for i := range monotime.Micros(400) {
 		busy.probing = false
-		b.probe(14_000+i, busy)
+		b.sendProbe(14_000+i, busy)
 		b.Probed(15_000+i, busy.ID, OK, 500, []float32{5})
 	}
 	if b.reportsLate {
@@ -120,24 +120,24 @@
 }
 
 // A wrong guess of a class's work must not refuse that class for ever.
-func TestLatenessRefusalLetsOnePass(t *testing.T) {
-	b, r := start(t, testSettings(), ready(1))
-	b.classes[0].work.v = float64(100 * second)
+func TestLatencyRejectionAdmitsOnePerInterval(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
+	b.classes[0].meanWork.value = float64(100 * second)
 	for i := range uint64(30) {
 		now := 10*second + monotime.Micros(i)*second/10
-		b.Request(now, request0(i, 0, now))
+		b.Request(now, newTestRequest(i, 0, now))
 	}
 	if n := len(r.sends); n < 2 || n > 4 {
 		t.Errorf("%d of 30 sent in three seconds, about one a second wanted", n)
 	}
-	if len(r.refused) != 30-len(r.sends) {
-		t.Errorf("%d refused, %d sent", len(r.refused), len(r.sends))
+	if len(r.rejected) != 30-len(r.sends) {
+		t.Errorf("%d refused, %d sent", len(r.rejected), len(r.sends))
 	}
 }
 
 // Where no probe tells loads, only answers show that a jam is over. While a hundred a second are refused, one that passes each
 // second would leave a balancer refusing for minutes what all endpoints could serve.
-func TestRefusalEndsSoonAfterTheJam(t *testing.T) {
+func TestRejectionEndsSoonAfterCongestion(t *testing.T) {
 	for name, s := range map[string]func(*Settings){
 		"no probes":  func(s *Settings) { s.Limits.Probes = false },
 		"no reports": func(s *Settings) { s.Fields = nil },
@@ -145,7 +145,7 @@
 		set := testSettings()
 		set.Limits.Cancel = false
 		s(&set)
-		b, out := start(t, set, ready(8))
+		b, out := startBalancer(t, set, readyEndpoints(8))
 		type due struct {
 			at   monotime.Micros
 			id   uint64
@@ -161,8 +161,8 @@
 				owed = owed[1:]
 			}
 			id++
-			sends, no := len(out.sends), len(out.refused)
-			b.Request(now, request0(id, 0, now))
+			sends, no := len(out.sends), len(out.rejected)
+			b.Request(now, newTestRequest(id, 0, now))
 			if took := monotime.Micros(50_000); len(out.sends) > sends {
 				if now > 5*second && now < jam {
 					took = 900_000
@@ -170,7 +170,7 @@
 				owed = append(owed, due{now + took, id, took})
 				slices.SortFunc(owed, func(a, b due) int { return cmp.Compare(a.at, b.at) })
 			}
-			if len(out.refused) > no {
+			if len(out.rejected) > no {
 				switch {
 				case now < jam:
 					refused[true]++
@@ -188,8 +188,8 @@
 	}
 }
 
-func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
-	b, r := start(t, testSettings(), ready(3))
+func TestFailingEndpointIsEjectedAndReadmitted(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(3))
 	now := second
 	sends := map[uint32]int{}
 	id := uint64(0)
@@ -200,7 +200,7 @@
 		}
 		id++
 		from := len(r.sends)
-		b.Request(now, request0(id, 0, now))
+		b.Request(now, newTestRequest(id, 0, now))
 		for n := 0; from < len(r.sends); n++ {
 			to := r.sends[from].endpoint
 			from++
@@ -224,33 +224,33 @@
 	}
 }
 
-func TestTenantBeyondItsShareWeighsLess(t *testing.T) {
+func TestTenantOverItsQuotaWeighsLess(t *testing.T) {
 	s := testSettings()
 	s.OverShareWorth = 0.05
 	s.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
-	b, _ := start(t, s, ready(2))
+	b, _ := startBalancer(t, s, readyEndpoints(2))
 	for i := range monotime.Micros(100) {
-		b.tenants[0].add(i*1000, 1)
+		b.tenantRates[0].add(i*1000, 1)
 		if i%4 == 0 {
-			b.tenants[1].add(i*1000, 1)
+			b.tenantRates[1].add(i*1000, 1)
 		}
 	}
 	over, within := &request{Request: Request{Tenant: 0}}, &request{Request: Request{Tenant: 1}}
-	b.refused.v = 0.5
-	if o, w := b.shareWorth(100_000, over), b.shareWorth(100_000, within); w != 1 || o > 0.6 {
+	b.rejectedRatio.value = 0.5
+	if o, w := b.tenantWeight(100_000, over), b.tenantWeight(100_000, within); w != 1 || o > 0.6 {
 		t.Errorf("weights %v over, %v within the share", o, w)
 	}
-	if got := b.shareWorth(100_000, &request{Request: Request{Tenant: 9}}); got != 1 {
+	if got := b.tenantWeight(100_000, &request{Request: Request{Tenant: 9}}); got != 1 {
 		t.Errorf("unknown tenant: %v", got)
 	}
 }
 
 // At a start only few endpoints have answered; they must not get everything.
 func TestFewAnswersDoNotTakeAll(t *testing.T) {
-	b, r := start(t, testSettings(), ready(8))
+	b, r := startBalancer(t, testSettings(), readyEndpoints(8))
 	b.Probed(1000, 3, OK, 500, []float32{0})
 	for id := range uint64(24) {
-		b.Request(2000, request0(id, 0, 2000))
+		b.Request(2000, newTestRequest(id, 0, 2000))
 	}
 	seen := map[uint32]int{}
 	for _, s := range r.sends {
@@ -263,71 +263,71 @@
 
 // While reports are late, averages decide; they must not refuse what an
 // endpoint that they cannot show would serve.
-func TestLateReportsAllowTheWholeAim(t *testing.T) {
-	b, _ := start(t, testSettings(), ready(1))
-	r := &request{Request: request0(1, 0, 0), work: 50_000}
-	b.classes[0].asked.add(0, 1)
-	before := b.room(0, r, b.list[0])
+func TestLateReportsAllowTheFullObjective(t *testing.T) {
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(1))
+	r := &request{Request: newTestRequest(1, 0, 0), work: 50_000}
+	b.classes[0].requestRate.add(0, 1)
+	before := b.latencyBudget(0, r, b.endpoints[0])
 	b.reportsLate = true
-	if after := b.room(0, r, b.list[0]); after <= before || after != float64(b.s.Classes[0].Aim) {
+	if after := b.latencyBudget(0, r, b.endpoints[0]); after <= before || after != float64(b.settings.Classes[0].Aim) {
 		t.Errorf("limit %v before, %v while late", before, after)
 	}
 }
 
 // What a cold endpoint can do grows with its warmth, and so must what is
 // expected of it, also once its pace has been learned.
-func TestColdEndpointIsExpectedToBeSlow(t *testing.T) {
-	b, _ := start(t, testSettings(), ready(2))
+func TestWarmingEndpointIsExpectedToBeSlow(t *testing.T) {
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(2))
 	b.Members(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
-	e := b.byID[9]
-	if got := e.paceNow(1000, b); !near(got, 5) { // warmth 0.2
+	e := b.endpointsByID[9]
+	if got := e.currentServiceTimeRatio(1000, b); !near(got, 5) { // warmth 0.2
 		t.Errorf("pace %v just started", got)
 	}
-	e.pace, e.paceAt = ewma{v: 2, n: settled}, 6*second
-	if got := e.paceNow(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
+	e.serviceTimeRatio, e.serviceTimeObservedAt = ewma{value: 2, samples: manySamples}, 6*second
+	if got := e.currentServiceTimeRatio(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
 		t.Errorf("pace %v half way", got)
 	}
-	if got := e.paceNow(12*second, b); got > 2 {
+	if got := e.currentServiceTimeRatio(12*second, b); got > 2 {
 		t.Errorf("pace %v once warm", got)
 	}
 }
 
 // An endpoint that answers in a fraction of a millisecond must not be left for a silence of a few: nobody's
 // clock tells so little, and an attempt given less time than it takes to write it is never made.
-func TestFastEndpointsAreWaitedFor(t *testing.T) {
+func TestFastEndpointsMayHaveQueues(t *testing.T) {
 	s := testSettings()
 	s.Limits.Probes = false
-	b, r := start(t, s, ready(4))
+	b, r := startBalancer(t, s, readyEndpoints(4))
 	for id := range uint64(3000) {
 		now := monotime.Micros(id) * 700
-		b.Request(now, request0(id, 0, now))
+		b.Request(now, newTestRequest(id, 0, now))
 		if len(r.sends) != int(id)+1 {
 			t.Fatalf("request %d was not sent", id)
 		}
-		if wait := r.waits[id]; wait != 0 && wait < s.Classes[0].Aim/waitLeast {
+		if wait := r.timeouts[id]; wait != 0 && wait < s.Classes[0].Aim/minTimeoutDivisor {
 			t.Fatalf("attempt %d is waited for %d us only", id, wait)
 		}
 		b.Outcome(now+200, Outcome{ID: id, Endpoint: r.sends[id].endpoint, Status: OK, Latency: 200, Settled: true})
 	}
-	if r.waits[2999] == 0 {
+	if r.timeouts[2999] == 0 {
 		t.Error("attempts of a safe class are waited for without end")
 	}
 }
 
 // A stuck endpoint must not look idle while its answers are merely missing.
-func TestSilentEndpointIsLeftBeforeAveragesShowIt(t *testing.T) {
+func TestSilentEndpointIsAvoidedBeforeAveragesShowIt(t *testing.T) {
 	s := testSettings()
 	s.Limits.SecondCopies = false
-	b, r := start(t, s, ready(2))
+	b, r := startBalancer(t, s, readyEndpoints(2))
 	b.Probed(1000, 1, OK, 500, []float32{0})
 	b.Probed(1000, 2, OK, 500, []float32{2})
-	b.Request(1000, request0(1, 0, 1000))
+	b.Request(1000, newTestRequest(1, 0, 1000))
 	if r.sends[0].endpoint != 1 {
 		t.Fatal("not the idle endpoint")
 	}
 	for id := range uint64(5) {
 		now := 300_000 + 1000*monotime.Micros(id)
-		b.Request(now, request0(10+id, 0, now))
+		b.Request(now, newTestRequest(10+id, 0, now))
 		last := r.sends[len(r.sends)-1]
 		if last.endpoint != 2 || last.id != 10+id {
 			t.Fatalf("request %d went to %d, silent for 0.3 s", last.id, last.endpoint)
@@ -335,7 +335,7 @@
 		b.Outcome(now, Outcome{ID: last.id, Endpoint: 2, Status: OK, Latency: 900, Settled: true})
 	}
 	b.Outcome(310_000, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: 309_000, Settled: true})
-	if got := b.predict(310_000, b.byID[1], 1000); got > 100_000 {
+	if got := b.predictLatency(310_000, b.endpointsByID[1], 1000); got > 100_000 {
 		t.Errorf("after its answer still %v expected", got)
 	}
 }
@@ -343,7 +343,7 @@
 // When the whole fleet turns slow, an endpoint known as fast must be expected to be slow, too, and
 // must be trusted again soon after the recovery.
 func TestFleetWideSlowdownIsLearnedAtOnce(t *testing.T) {
-	b, r := start(t, testSettings(), ready(4))
+	b, r := startBalancer(t, testSettings(), readyEndpoints(4))
 	serve := func(from, step monotime.Micros, n int, times float64) {
 		for i := range n {
 			now := from + step*monotime.Micros(i)
@@ -353,15 +353,15 @@
 			if len(r.sends) == 0 || r.sends[len(r.sends)-1].id != id {
 				continue // refused
 			}
-			latency := monotime.Micros(times * b.requests[id].attempts[0].expected)
+			latency := monotime.Micros(times * b.requests[id].attempts[0].expectedLatency)
 			b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK,
 				Latency: latency, Settled: true})
 		}
 	}
 	one := func(now monotime.Micros) float64 {
 		b.Probed(now, 1, OK, 500, []float32{0})
-		b.byID[1].pace, b.byID[1].paceAt = ewma{1, settled}, now
-		return b.predict(now, b.byID[1], 10_000)
+		b.endpointsByID[1].serviceTimeRatio, b.endpointsByID[1].serviceTimeObservedAt = ewma{1, manySamples}, now
+		return b.predictLatency(now, b.endpointsByID[1], 10_000)
 	}
 	serve(0, 1000, 50, 1)
 	before := one(60_000)
@@ -377,7 +377,7 @@
 }
 
 // A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
-func TestTrustInHintsIsLearned(t *testing.T) {
+func TestHintTrustIsLearned(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		latency  func(hint monotime.Micros) monotime.Micros
@@ -386,36 +386,36 @@
 		{"hints tell nothing", func(monotime.Micros) monotime.Micros { return 20_000 }, 0, 0.15},
 		{"hints tell all", func(hint monotime.Micros) monotime.Micros { return hint }, 0.85, 1},
 	} {
-		b, r := start(t, testSettings(), ready(4))
-		hints := source(3)
+		b, r := startBalancer(t, testSettings(), readyEndpoints(4))
+		hints := randomSource(3)
 		for i := range 4000 {
 			now := 10_000 * monotime.Micros(i)
-			hint := 5_000 + hints.below(60_000)
+			hint := 5_000 + hints.durationBelow(60_000)
 			b.Request(now, Request{ID: uint64(i), Deadline: now + second, Hint: hint, HasHint: true})
 			if n := len(r.sends); n > 0 && r.sends[n-1].id == uint64(i) {
 				b.Outcome(now, Outcome{ID: uint64(i), Endpoint: r.sends[n-1].endpoint, Status: OK,
 					Latency: c.latency(hint), Settled: true})
 			}
 		}
-		if b.trust < c.from || b.trust > c.to {
-			t.Errorf("%s: trust %.2f, want %.2f to %.2f", c.name, b.trust, c.from, c.to)
+		if b.hintTrust < c.from || b.hintTrust > c.to {
+			t.Errorf("%s: trust %.2f, want %.2f to %.2f", c.name, b.hintTrust, c.from, c.to)
 		}
 	}
 }
 
 // A balancer that refuses everything must still learn when it may stop, and one that refuses nothing needs few probes.
-func TestProbesGoOnWhileAllIsRefused(t *testing.T) {
+func TestProbesContinueWhileAllIsRejected(t *testing.T) {
 	s := testSettings()
-	s.Prices.Probe = probeSpend // one probe a request
-	b, _ := start(t, s, ready(4))
+	s.Prices.Probe = probeBudget // one probe a request
+	b, _ := startBalancer(t, s, readyEndpoints(4))
 	for i := range 1000 {
-		b.demand.add(5000*monotime.Micros(i), 1)
+		b.requestRate.add(5000*monotime.Micros(i), 1)
 	}
 	now := 5 * second
-	all := b.demand.rate(now)
-	for _, c := range []struct{ refused, want float64 }{{0, probeCalm}, {refusedSome / 2, (1 - refusedSome/2) * (1 + probeCalm) / 2},
-		{refusedSome, 1 - refusedSome}, {0.5, 0.5}, {0.9, firstTries}, {1, firstTries}} {
-		b.refused.v = c.refused
+	all := b.requestRate.rate(now)
+	for _, c := range []struct{ refused, want float64 }{{0, calmProbeShare}, {fullProbeRejectedRatio / 2, (1 - fullProbeRejectedRatio/2) * (1 + calmProbeShare) / 2},
+		{fullProbeRejectedRatio, 1 - fullProbeRejectedRatio}, {0.5, 0.5}, {0.9, minFirstAttemptRatio}, {1, minFirstAttemptRatio}} {
+		b.rejectedRatio.value = c.refused
 		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
 			t.Errorf("refused %v: %v of the pace, want %v", c.refused, got, c.want)
 		}
--- a/balancer/retries_test.go
+++ b/balancer/retries_test.go
@@ -16,10 +16,10 @@
 }
 
 // A request's own bound on tries holds within that of the settings.
-func TestTries(t *testing.T) {
+func TestMaxAttemptsOfRequest(t *testing.T) {
 	for tries, want := range map[int]int{0: 3, 1: 1, 2: 2, 9: 3} {
-		b, r := start(t, testSettings(), ready(8))
-		in := request0(1, 0, 0)
+		b, r := startBalancer(t, testSettings(), readyEndpoints(8))
+		in := newTestRequest(1, 0, 0)
 		in.Tries = tries
 		b.Request(0, in)
 		if n := errs(b, r, 1); n != want {
@@ -29,7 +29,7 @@
 }
 
 // Further tries are a share of the requests, and what was saved up before.
-func TestRetryShare(t *testing.T) {
+func TestRetryRatio(t *testing.T) {
 	const requests = 200
 	for _, share := range []float64{0, 0.05, 1} {
 		s := testSettings()
@@ -37,12 +37,12 @@
 		if share == 0 {
 			share = RetryShare
 		}
-		b, r := start(t, s, ready(200)) // so many that no breaker comes before it
+		b, r := startBalancer(t, s, readyEndpoints(200)) // so many that no breaker comes before it
 		for id := uint64(1); id <= requests; id++ {
-			b.Request(0, request0(id, 0, 0))
+			b.Request(0, newTestRequest(id, 0, 0))
 			errs(b, r, id)
 		}
-		most := budgetBurst + share*requests
+		most := retryBurst + share*requests
 		if more := float64(len(r.sends) - requests); more > most || more < 0.5*min(most, 2*requests) {
 			t.Errorf("%v further tries of %d requests with a share of %v", more, requests, share)
 		}
@@ -51,21 +51,21 @@
 
 // A budget that saves nothing up holds from the first request on and over any second in which requests come evenly, after a
 // quiet minute too. A quiet balancer has the least that is stated, and no more.
-func TestRetryShareOfASecond(t *testing.T) {
+func TestRetryRatioOverAWindow(t *testing.T) {
 	for _, c := range []struct {
 		rate, share, least float64
 		least1, most1      float64 // further tries in any second
 	}{{1000, 0.1, 0, 70, 100}, {1000, 0.1, 20, 70, 100}, {20, 0.1, 0, 1, 2}, {2, 0.1, 1, 1, 1}, {2, 0.1, 0, 0, 0}, {2, 0.1, 3, 2, 3}} {
 		s := testSettings()
 		s.RetryShare, s.RetryLeast, s.RetryWithin = c.share, c.least, second
-		b, r := start(t, s, ready(200))
+		b, r := startBalancer(t, s, readyEndpoints(200))
 		var again []monotime.Micros
 		id := uint64(0)
 		for _, from := range []monotime.Micros{0, 60 * second} {
 			for now := from; now < from+5*second; now += monotime.Micros(float64(second) / c.rate) {
 				id++
 				n := len(r.sends)
-				b.Request(now, request0(id, 0, now))
+				b.Request(now, newTestRequest(id, 0, now))
 				for i := n; i < len(r.sends); i++ {
 					if i > n {
 						again = append(again, now)
@@ -88,18 +88,18 @@
 }
 
 // With Strict a keyed request that may have run is never refused.
-func TestStrict(t *testing.T) {
+func TestStrictIdempotencyKeys(t *testing.T) {
 	for _, strict := range []bool{false, true} {
 		s := testSettings()
 		s.Strict = strict
-		b, r := start(t, s, ready(8))
-		b.Request(0, request0(1, 1, 0))
+		b, r := startBalancer(t, s, readyEndpoints(8))
+		b.Request(0, newTestRequest(1, 1, 0))
 		errs(b, r, 1)
-		if strict != (len(r.failed) == 1) || strict == (len(r.refused) == 1) {
-			t.Errorf("strict %v: refused %v, failed %v", strict, r.refused, r.failed)
+		if strict != (len(r.failed) == 1) || strict == (len(r.rejected) == 1) {
+			t.Errorf("strict %v: refused %v, failed %v", strict, r.rejected, r.failed)
 		}
 		b.Request(0, Request{ID: 2, Class: 1, Deadline: 0}) // never sent: refused all the same
-		if len(r.refused) == 0 || r.refused[len(r.refused)-1] != 2 {
+		if len(r.rejected) == 0 || r.rejected[len(r.rejected)-1] != 2 {
 			t.Errorf("strict %v: what was never sent is not refused", strict)
 		}
 	}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -12,30 +12,30 @@
 
 // checker hosts a balancer and asserts the rules on every action.
 type checker struct {
-	s        Settings
-	now      monotime.Micros
-	states   map[uint32]Endpoint
-	banned   map[uint32]bool
-	cold     map[uint32]monotime.Micros // endpoint: told start
-	coldWork map[uint32]float64         // requests sent while cold
-	reqs     map[uint64]*checked        // open and ended
-	bad      []string
-	timers   []pending
-	probes   []uint32
+	settings     Settings
+	now          monotime.Micros
+	states       map[uint32]Endpoint
+	cordoned     map[uint32]bool
+	warmingUp    map[uint32]monotime.Micros // endpoint: told start
+	warmingSends map[uint32]float64         // requests sent while cold
+	requests     map[uint64]*checked        // open and ended
+	faults       []string
+	timers       []pending
+	probes       []uint32
 }
 
 type checked struct {
-	in       Request
-	answered int
-	told     bool // it was told that the request is over
-	attempts []checkedAttempt
+	in         Request
+	answered   int
+	clientGone bool // it was told that the request is over
+	attempts   []checkedAttempt
 }
 
 type checkedAttempt struct {
-	ep     Endpoint
-	at     monotime.Micros
-	out    bool
-	mayRun bool
+	endpoint   Endpoint
+	sentAt     monotime.Micros
+	inflight   bool
+	mayHaveRun bool
 }
 
 type pending struct {
@@ -44,12 +44,12 @@
 }
 
 func (c *checker) fault(format string, args ...any) {
-	c.bad = append(c.bad, fmt.Sprintf("at %d: ", c.now)+fmt.Sprintf(format, args...))
+	c.faults = append(c.faults, fmt.Sprintf("at %d: ", c.now)+fmt.Sprintf(format, args...))
 }
 
 func (r *checked) bound() *checkedAttempt {
 	for i := range r.attempts {
-		if r.attempts[i].mayRun {
+		if r.attempts[i].mayHaveRun {
 			return &r.attempts[i]
 		}
 	}
@@ -57,46 +57,46 @@
 }
 
 func (c *checker) Send(id uint64, endpoint uint32, _ monotime.Micros) {
-	r := c.reqs[id]
+	r := c.requests[id]
 	if r == nil {
 		c.fault("send for unknown request %d", id)
 		return
 	}
 	e, known := c.states[endpoint]
-	class := c.s.Classes[r.in.Class]
-	if r.answered > 0 || r.told {
+	class := c.settings.Classes[r.in.Class]
+	if r.answered > 0 || r.clientGone {
 		c.fault("send after the end of %d", id)
 	}
 	if !known || e.State != Ready {
 		c.fault("send to endpoint %d in state %d", endpoint, e.State)
 	}
-	if c.banned[endpoint] {
+	if c.cordoned[endpoint] {
 		c.fault("send to endpoint %d, which is out by hand", endpoint)
 	}
-	if len(r.attempts) >= c.s.Limits.MaxAttempts {
+	if len(r.attempts) >= c.settings.Limits.MaxAttempts {
 		c.fault("attempt %d of %d", len(r.attempts), id)
 	}
 	for _, a := range r.attempts {
-		if a.out && !c.s.Limits.SecondCopies {
+		if a.inflight && !c.settings.Limits.SecondCopies {
 			c.fault("second copy of %d", id)
 		}
 	}
 	if b := r.bound(); b != nil && class.Repeat != Safe {
-		same := class.Group == GroupAll || class.Group == GroupZone && b.ep.Zone == e.Zone ||
-			class.Group == GroupCell && b.ep.Cell == e.Cell
-		if class.Repeat == Unsafe || !same || c.now > b.at+class.Window {
+		same := class.Group == GroupAll || class.Group == GroupZone && b.endpoint.Zone == e.Zone ||
+			class.Group == GroupCell && b.endpoint.Cell == e.Cell
+		if class.Repeat == Unsafe || !same || c.now > b.sentAt+class.Window {
 			c.fault("repeat of %d (%s) may have a second effect", id, class.Name)
 		}
 	}
-	if _, cold := c.cold[endpoint]; cold {
-		c.coldWork[endpoint]++
+	if _, cold := c.warmingUp[endpoint]; cold {
+		c.warmingSends[endpoint]++
 	}
-	r.attempts = append(r.attempts, checkedAttempt{ep: e, at: c.now, out: true, mayRun: true})
+	r.attempts = append(r.attempts, checkedAttempt{endpoint: e, sentAt: c.now, inflight: true, mayHaveRun: true})
 }
 
 func (c *checker) final(id uint64) *checked {
-	r := c.reqs[id]
-	if r == nil || r.answered > 0 || r.told {
+	r := c.requests[id]
+	if r == nil || r.answered > 0 || r.clientGone {
 		c.fault("final answer for %d, which is not open", id)
 		return nil
 	}
@@ -106,7 +106,7 @@
 
 func (c *checker) Refuse(id uint64, _ monotime.Micros) {
 	if r := c.final(id); r != nil && r.bound() != nil {
-		class := c.s.Classes[r.in.Class]
+		class := c.settings.Classes[r.in.Class]
 		if class.Repeat == Unsafe || class.Repeat == Keyed && class.Group != GroupAll {
 			c.fault("refusal of %d (%s), which may have run", id, class.Name)
 		}
@@ -116,7 +116,7 @@
 func (c *checker) Fail(id uint64) { c.final(id) }
 
 func (c *checker) Cancel(id uint64, attempt int) {
-	if r := c.reqs[id]; r == nil || attempt >= len(r.attempts) {
+	if r := c.requests[id]; r == nil || attempt >= len(r.attempts) {
 		c.fault("cancel of attempt %d of %d, never made", attempt, id)
 	}
 }
@@ -132,14 +132,14 @@
 	if _, known := c.states[e]; !known {
 		c.fault("probe of unknown endpoint %d", e)
 	}
-	if c.banned[e] {
+	if c.cordoned[e] {
 		c.fault("probe of endpoint %d, which is out by hand", e)
 	}
 	c.probes = append(c.probes, e)
 }
 
 func (c *checker) Watch(bool) {
-	if !c.s.Subscribe {
+	if !c.settings.Subscribe {
 		c.fault("subscription where changes come unasked")
 	}
 }
@@ -147,11 +147,11 @@
 func (c *checker) Log(string) {}
 
 // play runs legal random events from a seed and returns the faults found.
-func play(t *testing.T, s Settings, seed int64) []string {
+func playRandomEvents(t *testing.T, s Settings, seed int64) []string {
 	t.Helper()
 	rnd := rand.New(rand.NewSource(seed))
-	c := &checker{s: s, now: 1_000_000, states: map[uint32]Endpoint{}, banned: map[uint32]bool{}, cold: map[uint32]monotime.Micros{},
-		coldWork: map[uint32]float64{}, reqs: map[uint64]*checked{}}
+	c := &checker{settings: s, now: 1_000_000, states: map[uint32]Endpoint{}, cordoned: map[uint32]bool{}, warmingUp: map[uint32]monotime.Micros{},
+		warmingSends: map[uint32]float64{}, requests: map[uint64]*checked{}}
 	b, err := New(s, uint64(seed), c)
 	if err != nil {
 		t.Fatal(err)
@@ -164,12 +164,12 @@
 			c.states[e.ID] = e
 		}
 		b.Members(c.now, kind, entries)
-		for id := range c.banned { // as the host does: the words are its own, and an entry may be new
+		for id := range c.cordoned { // as the host does: the words are its own, and an entry may be new
 			b.Ban(c.now, id, true)
 		}
 	}
 	b.Start(c.now)
-	list := ready(1 + rnd.Intn(6))
+	list := readyEndpoints(1 + rnd.Intn(6))
 	members(ListCached, slices.Clone(list))
 	var open []uint64
 	next := uint64(1)
@@ -189,42 +189,42 @@
 			in := Request{ID: next, Class: uint8(rnd.Intn(len(s.Classes))),
 				Deadline: c.now + monotime.Micros(rnd.Intn(1_000_000)) - 50_000}
 			next++
-			c.reqs[in.ID] = &checked{in: in}
+			c.requests[in.ID] = &checked{in: in}
 			open = append(open, in.ID)
 			b.Request(c.now, in)
 		case n < 15 && len(open) > 0:
 			at := rnd.Intn(len(open))
-			r := c.reqs[open[at]]
+			r := c.requests[open[at]]
 			for i := range r.attempts {
 				a := &r.attempts[i]
-				if !a.out {
+				if !a.inflight {
 					continue
 				}
-				a.out = false
+				a.inflight = false
 				status := statuses[rnd.Intn(len(statuses))]
 				if status == Full || status == ConnectFailed || status == Moot {
-					a.mayRun = false
+					a.mayHaveRun = false
 				}
-				if status == OK && r.answered == 0 && !r.told {
-					r.told = true
+				if status == OK && r.answered == 0 && !r.clientGone {
+					r.clientGone = true
 				}
-				settled := r.answered > 0 || r.told
-				b.Outcome(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.ep.ID, Status: status,
-					Latency: c.now - a.at, Settled: settled})
+				settled := r.answered > 0 || r.clientGone
+				b.Outcome(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.endpoint.ID, Status: status,
+					Latency: c.now - a.sentAt, Settled: settled})
 				break
 			}
 		case n < 16 && len(open) > 0:
-			r := c.reqs[open[rnd.Intn(len(open))]]
+			r := c.requests[open[rnd.Intn(len(open))]]
 			if r.answered == 0 {
-				r.told = true
+				r.clientGone = true
 			}
 			b.ClientGone(c.now, r.in.ID)
 		case n == 16 && rnd.Intn(3) == 0: // twice out needs one call back
 			id := list[rnd.Intn(len(list))].ID
-			if c.banned[id] = true; rnd.Intn(2) == 0 {
-				delete(c.banned, id)
+			if c.cordoned[id] = true; rnd.Intn(2) == 0 {
+				delete(c.cordoned, id)
 			}
-			b.Ban(c.now, id, c.banned[id])
+			b.Ban(c.now, id, c.cordoned[id])
 		case n < 18:
 			for _, e := range c.probes {
 				b.Probed(c.now, e, statuses[rnd.Intn(len(statuses))], 500, []float32{float32(rnd.Intn(8))})
@@ -253,7 +253,7 @@
 	for range 400 {
 		c.now += 5000
 		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.at <= c.now && p.token >= firstSlot {
+			if p := c.timers[i]; p.at <= c.now && p.token >= firstRequestToken {
 				c.timers = slices.Delete(c.timers, i, i+1)
 				b.Timer(c.now, p.token)
 				continue
@@ -261,12 +261,12 @@
 			i++
 		}
 	}
-	for id, r := range c.reqs {
-		if r.answered == 0 && !r.told {
+	for id, r := range c.requests {
+		if r.answered == 0 && !r.clientGone {
 			c.fault("request %d never got a final answer", id)
 		}
 	}
-	return c.bad
+	return c.faults
 }
 
 func TestRulesUnderRandomEvents(t *testing.T) {
@@ -277,7 +277,7 @@
 		s.Limits.Probes = seed%5 != 0
 		s.Limits.MaxAttempts = 1 + int(seed%4)
 		s.Prices.Probe *= float64(seed % 7 / 3) // held requests, too
-		for i, bad := range play(t, s, seed) {
+		for i, bad := range playRandomEvents(t, s, seed) {
 			if i < 5 {
 				t.Errorf("seed %d: %s", seed, bad)
 			}
@@ -288,12 +288,12 @@
 // The checker itself must see each rule broken.
 func TestCheckerSeesBrokenRules(t *testing.T) {
 	fresh := func() *checker {
-		c := &checker{s: testSettings(), states: map[uint32]Endpoint{}, reqs: map[uint64]*checked{}}
-		for _, e := range ready(4) {
+		c := &checker{settings: testSettings(), states: map[uint32]Endpoint{}, requests: map[uint64]*checked{}}
+		for _, e := range readyEndpoints(4) {
 			c.states[e.ID] = e
 		}
 		for class := range uint8(5) {
-			c.reqs[uint64(class)] = &checked{in: request0(uint64(class), class, 0)}
+			c.requests[uint64(class)] = &checked{in: newTestRequest(uint64(class), class, 0)}
 		}
 		return c
 	}
@@ -301,7 +301,7 @@
 		"two final answers":       func(c *checker) { c.Refuse(0, 0); c.Fail(0) },
 		"send after the end":      func(c *checker) { c.Fail(0); c.Send(0, 1, 0) },
 		"send to the drained":     func(c *checker) { c.states[1] = Endpoint{ID: 1, State: Draining}; c.Send(0, 1, 0) },
-		"send to one out by hand": func(c *checker) { c.banned = map[uint32]bool{1: true}; c.Send(0, 1, 0) },
+		"send to one out by hand": func(c *checker) { c.cordoned = map[uint32]bool{1: true}; c.Send(0, 1, 0) },
 		"unsafe sent twice":       func(c *checker) { c.Send(4, 1, 0); c.Send(4, 2, 0) },
 		"unsafe refused":          func(c *checker) { c.Send(4, 1, 0); c.Refuse(4, 0) },
 		"keyed outside its zone":  func(c *checker) { c.Send(2, 1, 0); c.Send(2, 3, 0) },
@@ -310,22 +310,22 @@
 		"too many attempts":       func(c *checker) { c.Send(0, 1, 0); c.Send(0, 2, 0); c.Send(0, 3, 0); c.Send(0, 4, 0) },
 	} {
 		c := fresh()
-		if do(c); len(c.bad) == 0 {
+		if do(c); len(c.faults) == 0 {
 			t.Errorf("%s: not seen", name)
 		}
 	}
 }
 
 // Each kind of effect against each outcome of its first attempt.
-func TestLedger(t *testing.T) {
+func TestIdempotencyOfRetries(t *testing.T) {
 	never := map[Status]bool{Full: true, ConnectFailed: true, Moot: true}
 	for class := range uint8(5) {
 		for status := Error; status <= Moot; status++ {
 			s := testSettings()
-			b, r := start(t, s, ready(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
-			b.Request(1000, request0(1, class, 1000))
+			b, r := startBalancer(t, s, readyEndpoints(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
+			b.Request(1000, newTestRequest(1, class, 1000))
 			a := b.requests[1].attempts[0]
-			b.Outcome(2000, Outcome{ID: 1, Endpoint: a.ep.ID, Status: status, Latency: 1000})
+			b.Outcome(2000, Outcome{ID: 1, Endpoint: a.endpoint.ID, Status: status, Latency: 1000})
 			sends := len(r.sends)
 			switch kind := s.Classes[class]; {
 			case kind.Repeat == Unsafe && !never[status]:
@@ -346,49 +346,49 @@
 func TestWindowCountsFromFirstThatMayHaveRun(t *testing.T) {
 	s := testSettings()
 	s.Limits.SecondCopies = false
-	b, r := start(t, s, ready(2))
-	b.Request(1000, request0(1, 3, 1000))
+	b, r := startBalancer(t, s, readyEndpoints(2))
+	b.Request(1000, newTestRequest(1, 3, 1000))
 	first := r.sends[0].endpoint
 	b.Outcome(1000+s.Classes[3].Window, Outcome{ID: 1, Endpoint: first, Status: Reset})
-	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.refused) != 0 {
-		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.refused)
+	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.rejected) != 0 {
+		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.rejected)
 	}
 }
 
-func TestNoEndpointMeansRefusal(t *testing.T) {
-	b, r := start(t, testSettings(), nil)
-	b.Request(1000, request0(1, 4, 1000))
+func TestNoEndpointMeansRejection(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), nil)
+	b.Request(1000, newTestRequest(1, 4, 1000))
 	b.Request(1000, Request{ID: 2, Deadline: 500})
-	if len(r.refused) != 2 || b.open != 0 || len(b.requests) != 0 {
-		t.Errorf("refused %v, open %d", r.refused, b.open)
+	if len(r.rejected) != 2 || b.openRequests != 0 || len(b.requests) != 0 {
+		t.Errorf("refused %v, open %d", r.rejected, b.openRequests)
 	}
 }
 
 func TestUnansweredAttemptEndsAtTheDeadline(t *testing.T) {
-	b, r := start(t, testSettings(), ready(1))
-	b.Request(1000, request0(1, 4, 1000))
-	token := b.requests[1].token
+	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
+	b.Request(1000, newTestRequest(1, 4, 1000))
+	token := b.requests[1].timerToken
 	b.Timer(1000+second, token)
 	if len(r.failed) != 1 || len(r.cancels) != 1 {
 		t.Fatalf("failed %v, cancelled %v", r.failed, r.cancels)
 	}
 	b.Outcome(2*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: second, Settled: true})
-	if b.list[0].br.accepts != 1 || b.list[0].inflight != 0 || len(b.requests) != 0 {
+	if b.endpoints[0].breaker.accepts != 1 || b.endpoints[0].inflight != 0 || len(b.requests) != 0 {
 		t.Error("a late outcome must still feed the statistics")
 	}
-	b.Request(3*second, request0(2, 0, 3*second))
+	b.Request(3*second, newTestRequest(2, 0, 3*second))
 	b.Timer(3*second, token) // of the ended request, whose slot is in use again
-	if len(r.failed) != 1 || len(r.refused) != 0 {
+	if len(r.failed) != 1 || len(r.rejected) != 0 {
 		t.Error("an old timer ended another request")
 	}
 }
 
-func TestDrainingGetsNothing(t *testing.T) {
-	b, r := start(t, testSettings(), ready(2))
+func TestDrainingEndpointGetsNothing(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(2))
 	b.Members(1000, ListDelta, []Endpoint{{ID: 1, State: Draining}})
 	b.Members(1000, ListFull, []Endpoint{{ID: 1, State: Draining}, {ID: 3, State: Ready}})
 	for id := range uint64(20) {
-		b.Request(2000, request0(id, 0, 2000))
+		b.Request(2000, newTestRequest(id, 0, 2000))
 	}
 	for _, s := range r.sends {
 		if s.endpoint == 1 || s.endpoint == 2 {
@@ -399,11 +399,11 @@
 
 // coldSends counts sends to a cold endpoint over the overload window just
 // after its start, beside nine warm ones under a steady load.
-func coldSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
+func warmupSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
 	t.Helper()
 	s := testSettings()
-	list := ready(10)
-	b, r := start(t, s, list)
+	list := readyEndpoints(10)
+	b, r := startBalancer(t, s, list)
 	id, seen := uint64(0), 0
 	counts := map[uint32]int{}
 	run := func(from, to monotime.Micros) {
@@ -412,7 +412,7 @@
 				b.Probed(now, e+1, OK, 500, []float32{0})
 			}
 			id++
-			b.Request(now, request0(id, 0, now))
+			b.Request(now, newTestRequest(id, 0, now))
 			for ; seen < len(r.sends); seen++ {
 				counts[r.sends[seen].endpoint]++
 				b.Outcome(now, Outcome{ID: r.sends[seen].id, Endpoint: r.sends[seen].endpoint, Status: OK,
@@ -436,9 +436,9 @@
 	return cold, warm
 }
 
-func TestColdEndpointGetsItsRampShare(t *testing.T) {
+func TestWarmingEndpointGetsItsWarmupShare(t *testing.T) {
 	for _, c := range []struct{ rate, colds int }{{100, 1}, {500, 1}, {500, 2}, {2000, 2}} {
-		cold, warm := coldSends(t, c.rate, c.colds)
+		cold, warm := warmupSends(t, c.rate, c.colds)
 		for _, n := range cold {
 			// Warmth goes from 0.2 to 0.28 in this second; one request may round up.
 			if float64(n) > 0.28*warm+1 {
@@ -449,11 +449,11 @@
 }
 
 func TestOneServerFleetRestarts(t *testing.T) {
-	b, r := start(t, testSettings(), ready(1)[:1])
+	b, r := startBalancer(t, testSettings(), readyEndpoints(1)[:1])
 	b.Members(second, ListDelta, []Endpoint{{ID: 1, State: Ready, StartTime: second}})
 	for i := range uint64(400) {
 		now := second + monotime.Micros(i)*10_000
-		b.Request(now, request0(i, 0, now))
+		b.Request(now, newTestRequest(i, 0, now))
 		if n := len(r.sends); n > 0 && b.requests[i] != nil {
 			b.Outcome(now, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: 10_000, Settled: true})
 		}
@@ -463,10 +463,10 @@
 	}
 }
 
-func TestSubscriptionIsAskedForAgain(t *testing.T) {
+func TestSubscriptionIsRenewedAfterLoss(t *testing.T) {
 	s := testSettings()
 	s.Subscribe = true
-	b, r := start(t, s, ready(2))
+	b, r := startBalancer(t, s, readyEndpoints(2))
 	now := monotime.Micros(0)
 	fire := func() {
 		for i, token := range r.timers {
@@ -493,7 +493,7 @@
 			t.Fatalf("asked only after %d", now-before)
 		}
 	}
-	if len(b.list) != 2 {
+	if len(b.endpoints) != 2 {
 		t.Error("a failed call changed the list")
 	}
 	b.Members(now, ListDelta, nil)
@@ -504,12 +504,12 @@
 	}
 }
 
-func TestStreamIsLeftAlone(t *testing.T) {
-	b, r := start(t, testSettings(), ready(2))
-	b.Request(1000, request0(1, 0, 1000))
+func TestStreamingRequestIsNotRetried(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(2))
+	b.Request(1000, newTestRequest(1, 0, 1000))
 	b.Headers(2000, 1, 0, 1000)
-	b.Timer(2*second, b.requests[1].token)
-	if len(r.sends) != 1 || len(r.refused)+len(r.failed) != 0 {
+	b.Timer(2*second, b.requests[1].timerToken)
+	if len(r.sends) != 1 || len(r.rejected)+len(r.failed) != 0 {
 		t.Error("a stream that began was given an end or a copy")
 	}
 	b.Outcome(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Settled: true})
@@ -520,10 +520,10 @@
 
 func TestSameEventsSameActions(t *testing.T) {
 	run := func() *recorder {
-		b, r := start(t, testSettings(), ready(5))
+		b, r := startBalancer(t, testSettings(), readyEndpoints(5))
 		for i := range uint64(200) {
 			now := monotime.Micros(i) * 7000
-			b.Request(now, request0(i, uint8(i%5), now))
+			b.Request(now, newTestRequest(i, uint8(i%5), now))
 			if i%3 == 0 {
 				b.Timer(now, tokenProbe)
 				b.Probed(now, uint32(i%5+1), OK, 500, []float32{float32(i % 4)})
@@ -539,12 +539,12 @@
 }
 
 func TestSteadyStateDoesNotAllocate(t *testing.T) {
-	b, r := start(t, testSettings(), ready(5))
+	b, r := startBalancer(t, testSettings(), readyEndpoints(5))
 	id := uint64(0)
 	once := func() {
 		id++
 		r.sends, r.timers, r.delays = r.sends[:0], r.timers[:0], r.delays[:0]
-		b.Request(1000, request0(id, 0, 1000))
+		b.Request(1000, newTestRequest(id, 0, 1000))
 		b.Outcome(2000, Outcome{ID: id, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 1000, Settled: true})
 	}
 	for range 100 {
@@ -556,25 +556,25 @@
 }
 
 // A request of a class that the settings do not have was taken all the same.
-func TestUnknownClassIsAnswered(t *testing.T) {
-	b, r := start(t, testSettings(), ready(2))
-	b.Request(1000, request0(1, 99, 1000))
-	if len(r.refused) != 1 || len(r.sends) != 0 || len(b.requests) != 0 {
-		t.Errorf("refused %v, sends %v", r.refused, r.sends)
+func TestUnknownClassIsRejected(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(2))
+	b.Request(1000, newTestRequest(1, 99, 1000))
+	if len(r.rejected) != 1 || len(r.sends) != 0 || len(b.requests) != 0 {
+		t.Errorf("refused %v, sends %v", r.rejected, r.sends)
 	}
 }
 
 // Staff must learn why requests are refused, in one line a second and not in thousands.
-func TestRefusalsAreToldOnceASecond(t *testing.T) {
-	b, r := start(t, testSettings(), ready(1))
+func TestRejectionsAreLoggedOncePerSecond(t *testing.T) {
+	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
 	b.Probed(1000, 1, OK, 500, []float32{50})
 	for id := range uint64(200) {
 		now := second + 5000*monotime.Micros(id)
 		b.Probed(now, 1, OK, 500, []float32{50})
-		b.Request(now, request0(id, 0, now))
+		b.Request(now, newTestRequest(id, 0, now))
 	}
-	if len(r.refused) < 150 {
-		t.Fatalf("only %d refused", len(r.refused))
+	if len(r.rejected) < 150 {
+		t.Fatalf("only %d refused", len(r.rejected))
 	}
 	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "endpoint 1, would take") {
 		t.Errorf("log: %q", r.logs)
