--- a/balancer/api.go
+++ b/balancer/api.go
@@ -6,105 +6,109 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Repeat says what a second run of a request of a class would do.
+// Idempotency says what a second run of a request of a class would do.
 type Idempotency uint8
 
 // The three kinds of class.
 const (
-	Idempotent      Idempotency = iota // a repeat is harmless
-	IdempotentByKey                    // a group of endpoints drops repeats for a while
-	NonIdempotent                      // a repeat would have a second effect
+	Idempotent      Idempotency = iota // a second run has no effect
+	IdempotentByKey                    // endpoints drop second runs with the same idempotency key for a while
+	NonIdempotent                      // a second run has a second effect
 )
 
-// Group is the set of endpoints that drops repeats of a keyed request.
+// DedupScope is the set of endpoints that drop second runs of a request with the same idempotency key.
 type DedupScope uint8
 
-// The groups of a keyed class.
+// The scopes of deduplication.
 const (
 	DedupAll  DedupScope = iota // every endpoint
 	DedupZone                   // the endpoints of one zone
 	DedupCell                   // the endpoints of one cell
 )
 
-// Field names one figure of a load report.
+// LoadMetric names one figure of a load report.
 type LoadMetric uint8
 
-// The figures that a load report may carry. FieldOther is one that this
-// version does not know; it is skipped.
+// The figures that a load report may have. MetricUnknown is one that this version does not know; it is skipped.
 const (
 	MetricUnknown     LoadMetric = iota
-	MetricInflight               // requests that the endpoint holds
+	MetricInflight               // requests at the endpoint
 	MetricQueueLength            // requests that wait there
-	MetricUtilization            // share of its cores in use
+	MetricUtilization            // part of its cores in use
 	MetricLatency                // recent service time in milliseconds
-	MetricServedRate             // requests served a second
-	MetricErrorRate              // errors a second
+	MetricServedRate             // requests served per second
+	MetricErrorRate              // errors per second
 )
 
 // Class describes one class of requests.
 type Class struct {
 	Name             string
 	Idempotency      Idempotency
-	DedupScope       DedupScope      // keyed only
-	DedupWindow      monotime.Micros // keyed only: how long the group remembers
-	LatencyObjective monotime.Micros // an answer within this time earns the full worth
-	ClientTimeout    monotime.Micros // the client's patience over all its tries
+	DedupScope       DedupScope      // IdempotentByKey only
+	DedupWindow      monotime.Micros // IdempotentByKey only: how long the endpoints remember a key
+	LatencyObjective monotime.Micros // an answer within this time counts with the full weight
+	ClientTimeout    monotime.Micros // the time that a client waits over all its attempts
 	PriorityWeight   float64         // of one request
-	LateWeight       float64         // share of the worth earned after the aim
-	Streaming        bool            // answers are streamed: Headers announces them
+	LateWeight       float64         // part of the weight, 0 to 1, that a later answer counts with
+	Streaming        bool            // answers are streamed: HandleHeaders is called for them
 }
 
-// Tenant describes one tenant and its share of the service.
+// Tenant describes one tenant.
 type Tenant struct {
 	Name  string
-	Quota float64 // requests a second over all balancers
-	Share float64
+	Quota float64 // requests per second over all balancers
+	Share float64 // of the service, 0 to 1; no decision reads it
 }
 
-// Limits holds what the deployment permits. Tell and DialTimeout are checked
-// but no decision reads them.
+// Limits holds what the deployment permits.
 type Limits struct {
-	Cancel, Probes, Hedging, RetryAfter, Gossip bool
-
-	MaxAttempts     int             // attempts a request
-	MaxOpenRequests int             // open requests a balancer
-	MaxRetryAfter   monotime.Micros // the longest wait that clients honour
-	DialTimeout     monotime.Micros
+	Cancel     bool // attempts may be cancelled
+	Probes     bool // endpoints may be probed
+	Hedging    bool // a second attempt may start while one is in flight
+	RetryAfter bool // rejections may say when to retry
+	Gossip     bool // balancers may send messages to one another; no decision reads it
+
+	MaxAttempts     int             // of a request
+	MaxOpenRequests int             // of a balancer
+	MaxRetryAfter   monotime.Micros // the longest Retry-After that clients honour
+	DialTimeout     monotime.Micros // no decision reads it
 }
 
-// Contract holds the figures of the rules. DrainGrace and AnswerSlack are
-// checked but no decision reads them: nothing new is sent to a draining
-// endpoint, and answers leave by the deadline.
+// Contract holds what endpoints and discovery are known to do.
 type Contract struct {
-	DrainGrace          monotime.Micros
-	WarmupStartCapacity float64         // an endpoint starts at no less than this share
-	WarmupTime          monotime.Micros // and is warm no later than this
-	CollapseMultiple    float64         // of its present capacity, sent for OverloadFor,
-	CollapseAfter       monotime.Micros // makes a cold endpoint fall over
-	PollInterval        monotime.Micros // a balancer without subscription must ask this often
-	AnswerSlack         monotime.Micros
+	DrainGrace          monotime.Micros // no decision reads it: a draining endpoint gets nothing new
+	WarmupStartCapacity float64         // least part of its capacity that an endpoint starts with, over 0 to 1
+	WarmupTime          monotime.Micros // after which an endpoint has all of it
+	CollapseMultiple    float64         // of its present capacity: a warming endpoint that gets so much
+	CollapseAfter       monotime.Micros // for so long collapses
+	PollInterval        monotime.Micros // a balancer without a subscription must poll discovery within this time
+	AnswerSlack         monotime.Micros // no decision reads it: answers leave by the deadline
 }
 
 // Prices holds what is taken off the result, each for its rate per request.
-// No decision reads Waste and LateFail.
 type Prices struct {
-	CrossZone, Probe, Waste, LateFail float64
+	CrossZone float64 // an attempt in another zone
+	Probe     float64
+	Waste     float64 // no decision reads it
+	LateFail  float64 // no decision reads it
 }
 
-// Goal holds the weights of what the users judge. No decision reads WorstTenant.
+// Goal holds the weights of the parts of the result: the ratio of requests that are answered in time.
 type Goal struct {
-	Overall, WorstWindow, WorstClass, WorstTenant float64
+	Overall     float64
+	WorstWindow float64 // of time
+	WorstClass  float64
+	WorstTenant float64 // no decision reads it
 }
 
-// Settings is all that a balancer is told at its start. No decision reads
-// Position, Zones and Kinds.
+// Settings is all that a balancer is given at its start.
 type Settings struct {
-	Balancers    int // in this tier, this one included
-	Position     int // of this one among them
-	Zone         int // of this one
-	ZoneCount    int
-	MachineKinds int  // of machines
-	Subscribe    bool // discovery answers only when asked
+	Balancers    int  // in this tier, this one included
+	Position     int  // of this one among them; no decision reads it
+	Zone         int  // of this one
+	ZoneCount    int  // no decision reads it
+	MachineKinds int  // no decision reads it
+	Subscribe    bool // discovery answers only when polled
 
 	Classes     []Class
 	Tenants     []Tenant
@@ -114,26 +118,30 @@
 	Contract        Contract
 	Prices          Prices
 	Goal            Goal
-	Tick            monotime.Micros // the least time between two rounds of events
-	OverQuotaWeight float64
-	WeightByWork    bool    // worth counts per unit of work, not per request
-	RetryRatio      float64 // further attempts, as a part of the requests; 0 is RetryShare
+	Tick            monotime.Micros // least time between two rounds of events; no decision reads it
+	OverQuotaWeight float64         // part of its weight that a request over its tenant's quota has
+	WeightByWork    bool            // weights count per unit of work, not per request
+	RetryRatio      float64         // retries, as a part of the requests; 0 is DefaultRetryRatio
 
-	// RetryWithin has that part hold over any stretch of this length (microseconds), where RetryLeast further attempts a
-	// second are let go in any case: a quiet balancer's part would be less than one. 0 lets what was not used be saved up.
+	// RetryWindow limits retries to that part in any stretch of this length; MinRetryRate retries per second are
+	// always allowed: a quiet balancer's part would be less than one. Without a window, unused retries are saved up.
 	RetryWindow  monotime.Micros
 	MinRetryRate float64
 
-	// Strict has a keyed request that may have run fail and never be refused, also where all endpoints drop repeats of
-	// its key: the client may come back when they have forgotten it.
+	// StrictIdempotencyKeys has a request with an idempotency key that may have run fail, and never be rejected, even
+	// if all endpoints drop second runs: the client may retry when they have forgotten the key.
 	StrictIdempotencyKeys bool
 }
 
-// RetryShare is how many further attempts each request earns where the settings say nothing.
+// DefaultRetryRatio is how many retries each request earns where the settings say nothing.
 const DefaultRetryRatio = 0.2
 
 // SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Value, Reason string }
+type SettingError struct {
+	Key    string // the path of the setting's Go field, or of its key where it was read
+	Value  string
+	Reason string
+}
 
 // Error says which setting is wrong, and how.
 func (e *SettingError) Error() string {
@@ -151,41 +159,44 @@
 	check(s.Balancers >= 1, "Balancers", s.Balancers, "must be at least 1")
 	check(s.Position >= 0, "Position", s.Position, "must not be negative")
 	check(s.Zone >= 0, "Zone", s.Zone, "must not be negative")
-	check(s.MachineKinds >= 0, "Kinds", s.MachineKinds, "must not be negative")
+	check(s.MachineKinds >= 0, "MachineKinds", s.MachineKinds, "must not be negative")
 	check(s.Tick >= 0, "Tick", s.Tick, "must not be negative")
 	check(len(s.Classes) > 0, "Classes", "none", "at least one class is needed")
 	for i, c := range s.Classes {
 		at := func(name string) string { return fmt.Sprintf("Classes[%d].%s", i, name) }
-		check(c.Idempotency <= NonIdempotent, at("Repeat"), c.Idempotency, "not a known kind")
-		check(c.DedupScope <= DedupCell, at("Group"), c.DedupScope, "not a known group")
-		check(c.DedupWindow >= 0, at("Window"), c.DedupWindow, "must not be negative")
-		check(c.LatencyObjective > 0, at("Aim"), c.LatencyObjective, "must be positive")
-		check(c.ClientTimeout > 0, at("GiveUp"), c.ClientTimeout, "must be positive")
-		check(c.PriorityWeight >= 0, at("Worth"), c.PriorityWeight, "must not be negative")
-		check(c.LateWeight >= 0 && c.LateWeight <= 1, at("LateWorth"), c.LateWeight, "must be in 0..1")
+		check(c.Idempotency <= NonIdempotent, at("Idempotency"), c.Idempotency, "not a known kind")
+		check(c.DedupScope <= DedupCell, at("DedupScope"), c.DedupScope, "not a known scope")
+		check(c.DedupWindow >= 0, at("DedupWindow"), c.DedupWindow, "must not be negative")
+		check(c.LatencyObjective > 0, at("LatencyObjective"), c.LatencyObjective, "must be positive")
+		check(c.ClientTimeout > 0, at("ClientTimeout"), c.ClientTimeout, "must be positive")
+		check(c.PriorityWeight >= 0, at("PriorityWeight"), c.PriorityWeight, "must not be negative")
+		check(c.LateWeight >= 0 && c.LateWeight <= 1, at("LateWeight"), c.LateWeight, "must be in 0..1")
 	}
 	for i, t := range s.Tenants {
-		key := fmt.Sprintf("Tenants[%d].Allowance", i)
+		key := fmt.Sprintf("Tenants[%d].Quota", i)
 		check(t.Quota >= 0, key, t.Quota, "must not be negative")
 	}
 	for _, w := range [...]float64{s.Goal.Overall, s.Goal.WorstWindow, s.Goal.WorstClass, s.Goal.WorstTenant} {
 		check(w >= 0, "Goal", w, "must not be negative")
 	}
-	check(s.OverQuotaWeight >= 0, "OverShareWorth", s.OverQuotaWeight, "must not be negative")
-	check(s.RetryRatio >= 0 && s.RetryRatio <= 10, "RetryShare", s.RetryRatio, "must be in 0..10")
-	check(s.RetryWindow >= 0, "RetryWithin", s.RetryWindow, "must not be negative")
-	check(s.MinRetryRate >= 0 && s.MinRetryRate <= 1e6, "RetryLeast", s.MinRetryRate, "must be in 0..1000000")
-	l, c, p := &s.Limits, &s.Contract, &s.Prices
+	check(s.OverQuotaWeight >= 0, "OverQuotaWeight", s.OverQuotaWeight, "must not be negative")
+	check(s.RetryRatio >= 0 && s.RetryRatio <= 10, "RetryRatio", s.RetryRatio, "must be in 0..10")
+	check(s.RetryWindow >= 0, "RetryWindow", s.RetryWindow, "must not be negative")
+	check(s.MinRetryRate >= 0 && s.MinRetryRate <= 1e6, "MinRetryRate", s.MinRetryRate, "must be in 0..1000000")
+	l := &s.Limits
+	c := &s.Contract
+	p := &s.Prices
 	check(l.MaxAttempts >= 1, "Limits.MaxAttempts", l.MaxAttempts, "must be at least 1")
-	check(l.MaxOpenRequests >= 1, "Limits.MaxOpen", l.MaxOpenRequests, "must be at least 1")
+	check(l.MaxOpenRequests >= 1, "Limits.MaxOpenRequests", l.MaxOpenRequests, "must be at least 1")
 	check(l.MaxRetryAfter >= 0, "Limits.MaxRetryAfter", l.MaxRetryAfter, "must not be negative")
 	check(l.DialTimeout >= 0, "Limits.DialTimeout", l.DialTimeout, "must not be negative")
 	check(c.DrainGrace >= 0, "Contract.DrainGrace", c.DrainGrace, "must not be negative")
-	check(c.WarmupStartCapacity > 0 && c.WarmupStartCapacity <= 1, "Contract.ColdFrom", c.WarmupStartCapacity, "must be in 0..1, not 0")
-	check(c.WarmupTime >= 0, "Contract.RampTime", c.WarmupTime, "must not be negative")
-	check(c.CollapseMultiple > 0, "Contract.FallMultiple", c.CollapseMultiple, "must be positive")
-	check(c.CollapseAfter >= 0, "Contract.OverloadFor", c.CollapseAfter, "must not be negative")
-	check(c.PollInterval >= 0, "Contract.AskWithin", c.PollInterval, "must not be negative")
+	start := c.WarmupStartCapacity
+	check(start > 0 && start <= 1, "Contract.WarmupStartCapacity", start, "must be in 0..1, not 0")
+	check(c.WarmupTime >= 0, "Contract.WarmupTime", c.WarmupTime, "must not be negative")
+	check(c.CollapseMultiple > 0, "Contract.CollapseMultiple", c.CollapseMultiple, "must be positive")
+	check(c.CollapseAfter >= 0, "Contract.CollapseAfter", c.CollapseAfter, "must not be negative")
+	check(c.PollInterval >= 0, "Contract.PollInterval", c.PollInterval, "must not be negative")
 	check(c.AnswerSlack >= 0, "Contract.AnswerSlack", c.AnswerSlack, "must not be negative")
 	check(p.CrossZone >= 0, "Prices.CrossZone", p.CrossZone, "must not be negative")
 	check(p.Probe >= 0, "Prices.Probe", p.Probe, "must not be negative")
@@ -194,51 +205,50 @@
 	return err
 }
 
-// State is what discovery says of an endpoint.
+// EndpointState is the state of an endpoint by discovery.
 type EndpointState uint8
 
 // The states of an endpoint.
 const (
-	Ready EndpointState = iota
-	Draining
+	Ready    EndpointState = iota
+	Draining               // gets nothing new
 	Gone
 )
 
-// Endpoint is one entry of discovery's list.
+// Endpoint is one entry of an endpoint list.
 type Endpoint struct {
-	ID        uint32
+	ID        uint32 // the host's number for it
 	Zone      uint8
-	Kind      uint8
-	Cell      uint16
+	Kind      uint8  // of machine; no decision reads it
+	Cell      uint16 // deduplication scope within a zone (DedupCell)
 	State     EndpointState
-	Share     float32
-	StartTime monotime.Micros // of its latest start; 0 for long ago
+	Share     float32         // of the service; no decision reads it
+	StartTime monotime.Micros // of its present process; 0 is long ago
 }
 
-// ListKind says how the entries of a membership event are to be read.
+// ListKind says how the entries of an endpoint list are to be read.
 type ListKind uint8
 
-// The kinds of membership event.
+// The kinds of endpoint list.
 const (
 	ListDelta  ListKind = iota // changed entries only
 	ListFull                   // the complete list
-	ListCached                 // the complete list as last held; perhaps old
-	ListFailed                 // a call of discovery failed; no entries
+	ListCached                 // a complete list of an earlier time; it may be old
+	ListFailed                 // discovery failed; no entries
 )
 
-// Request is a client's request. One final answer is owed for it: an outcome
-// that settles it, a refusal or a failure.
+// Request is a client's request. It gets one final answer: an outcome that answers it, a rejection or a failure.
 type Request struct {
 	ID             uint64
-	IdempotencyKey uint64
-	Deadline       monotime.Micros // the instant at which the client gives this try up
-	QueueTime      monotime.Micros // how long it has waited at the host for its turn: its aim counts from its arrival there
-	WorkHint       monotime.Micros // expected work; used if HasHint
+	IdempotencyKey uint64          // no decision reads it
+	Deadline       monotime.Micros // the instant at which the client gives up
+	QueueTime      monotime.Micros // time in the host's queue: the latency objective counts from the arrival there
+	WorkHint       monotime.Micros // expected work, if HasWorkHint
 	HasWorkHint    bool
-	Retry          bool // the client marked it as a repetition
-	MaxAttempts    int  // attempts at most, within Limits.MaxAttempts; 0 is as many as that
-	Write          bool
-	Upload         bool // its body comes while an endpoint takes it: until that is over, the endpoint owes nothing
+	Retry          bool // the client marked it as a retry
+	MaxAttempts    int  // within Limits.MaxAttempts; 0 is that many
+	Write          bool // no decision reads it
+	Upload         bool // its body is sent while an endpoint reads it: until the end the endpoint owes no answer
 	Tenant         uint16
 	Class          uint8
 }
@@ -246,64 +256,63 @@
 // Status says how an attempt or a probe ended.
 type Status uint8
 
-// The ways an attempt may end. Full, ConnectFailed and Moot prove that it
-// never ran; all others but OK leave that open.
+// The ways in which an attempt may end. Rejected, ConnectFailed and NotSent prove that it never ran; all others but
+// OK leave that open.
 const (
 	OK            Status = iota
-	Error                // an error returned by the endpoint
-	Rejected             // turned away unseen
+	Error                // an error of the endpoint
+	Rejected             // by the endpoint, before it ran
 	Timeout              // no answer in time
 	ConnectFailed        // no connection in time
 	Reset                // the connection broke
-	Cancelled            // withdrawn by the balancer
-	NotSent              // never sent
+	Cancelled            // by Actions.Cancel
+	NotSent              // the host sent nothing
 )
 
-// Outcome tells how an attempt ended. Load is valid during the call only.
+// Outcome is the end of an attempt. Load is valid during the call only.
 type Outcome struct {
 	ID            uint64
-	Attempt       int // the attempts of a request count from 0 as sent
+	Attempt       int // number among the request's attempts, from 0, in the order of Actions.Send
 	Endpoint      uint32
 	Status        Status
 	Latency       monotime.Micros
 	Answered      bool // the request has its final answer
-	NotReplayable bool // a part of it has gone out that cannot be shown again: no further attempt can be made
+	NotReplayable bool // a part of its body that cannot be sent again has gone out: no retry is possible
 	Load          []float32
 }
 
-// Bounds is what an overload of the endpoints, that all instances bring about together, leaves to this balancer (Bound).
-// Lists are read during calls, and may change between them.
+// OverloadPolicy is what the fleet's overload control admits. The host may change the slices between calls.
 type OverloadPolicy struct {
-	AdmitRatio           []float64 // by class, the part of the requests that goes on
-	OverQuotaAdmitRatio  []float64 // the same of what tenants ask beyond their share
-	WithinQuotaRatio     []float64 // by tenant, the part of its requests within its share
-	RetryAdmitRatio      float64   // of what goes on by that, the part of those that say that they repeat an earlier one
-	QueueWaitFraction    []float64 // by class, the part of what its aim leaves that a request may wait
-	TopQueueWaitFraction float64   // the same of what ranks first, whatever its class,
-	TopRatio             float64   // which is this part of the requests
-
-	ForcedAdmitInterval monotime.Micros // after so long one request of a class may go on although it seems too late
-	RetryAllowed        bool            // one more attempt beyond a request's first may be made
-	MaxProbeRate        float64         // a second, at most
+	AdmitRatio           []float64 // by class: part of the requests that is admitted
+	OverQuotaAdmitRatio  []float64 // by class: the same of requests over their tenant's quota
+	WithinQuotaRatio     []float64 // by tenant: part of its requests that is within its quota
+	RetryAdmitRatio      float64   // part of the retries that is admitted, of those that are by the ratios above
+	QueueWaitFraction    []float64 // by class: part of what remains of the latency objective for queueing
+	TopQueueWaitFraction float64   // the same for the requests of the highest rank, whatever their class
+	TopRatio             float64   // part of the requests that has that rank
+
+	ForcedAdmitInterval monotime.Micros // time between requests of a class that are admitted against the prediction
+	RetryAllowed        bool
+	MaxProbeRate        float64 // probes per second
 }
 
-// Actions is what a balancer asks of its host. Calls come from within event
-// methods, in the order in which they are to take effect.
+// Actions is what a balancer calls its host for. Calls come from within event methods, in the order in which they
+// are to take effect; they must not call the balancer.
 type Actions interface {
-	// Send starts an attempt; timeout 0 means until the client's deadline.
+	// Send starts an attempt. Timeout 0 is until the request's deadline.
 	Send(id uint64, endpoint uint32, timeout monotime.Micros)
-	// Refuse is a final answer that promises that a retry is harmless.
+	// Reject is a final answer that promises that a retry is harmless. retryAfter 0 is not said to the client.
 	Reject(id uint64, retryAfter monotime.Micros)
 	// Fail is a final answer that promises nothing.
 	Fail(id uint64)
-	// Cancel stops waiting for an attempt; its outcome still comes.
+	// Cancel ends the wait for an attempt; its outcome still comes.
 	Cancel(id uint64, attempt int)
-	// Timer asks for a Timer event with this token after delay.
+	// SetTimer has Balancer.HandleTimer called with this token after a delay.
 	SetTimer(delay monotime.Micros, token uint32)
-	// Probe asks an endpoint for its load.
+	// Probe asks an endpoint for a load report; Balancer.HandleProbe gets it.
 	Probe(endpoint uint32)
-	// Watch subscribes to discovery's changes, or ends that.
+	// Watch subscribes to discovery's endpoint list, or ends the subscription.
 	Watch(on bool)
-	// Log records a line for on-call staff.
-	Log(line string)
+	// Log writes a line for on-call staff. args are alternating keys and values, as of log/slog.
+	Log(message string, args ...any)
 }
--- a/balancer/ban_test.go
+++ b/balancer/ban_test.go
@@ -6,13 +6,13 @@
 	"dunlinsail/internal/monotime"
 )
 
-// One that is let in again has been restarted: it gets no more than a cold one may, also where the list goes on telling
-// its old start, and nothing that was known of the process before holds.
+// One that is let in again has been restarted: it gets no more than a warming one may, also where the list goes on
+// telling its old start, and nothing that was known of the process before holds.
 func TestUncordonedEndpointWarmsUp(t *testing.T) {
 	s := testSettings()
 	b, r := startBalancer(t, s, readyEndpoints(4))
 	e := b.endpointsByID[1]
-	e.outlier = outlierStats{consecutiveFailures: 9, ejectedUntil: 1 << 40, ejectionTime: second}
+	e.outliers[allTraffic] = outlierStats{consecutiveFailures: 9, ejectedUntil: 1 << 40, ejectionTime: second}
 	b.SetCordon(1000, 1, true)
 	b.SetCordon(2000, 1, true)
 	if !b.ShouldAvoid(2000, 1) {
@@ -21,8 +21,11 @@
 	now := monotime.Micros(60 * second)
 	b.SetCordon(now, 1, false)
 	b.UpdateEndpoints(now, ListDelta, readyEndpoints(1))
-	if e != b.endpointsByID[1] || !e.warmingUp(now, b) || e.capacityFraction(now, b) != s.Contract.WarmupStartCapacity || b.ShouldAvoid(now, 1) || e.outlier.consecutiveFailures != 0 {
-		t.Errorf("back in: cold %v, warmth %v, avoided %v, streak %d", e.warmingUp(now, b), e.capacityFraction(now, b), b.ShouldAvoid(now, 1), e.outlier.consecutiveFailures)
+	if e != b.endpointsByID[1] || !e.warmingUp(now, b) ||
+		e.capacityFraction(now, b) != s.Contract.WarmupStartCapacity || b.ShouldAvoid(now, 1) ||
+		e.outliers[allTraffic].consecutiveFailures != 0 {
+		t.Errorf("back in: cold %v, capacity fraction %v, avoided %v, streak %d", e.warmingUp(now, b),
+			e.capacityFraction(now, b), b.ShouldAvoid(now, 1), e.outliers[allTraffic].consecutiveFailures)
 	}
 	if later := now + s.Contract.WarmupTime; e.warmingUp(later, b) {
 		t.Error("cold for ever")
@@ -40,7 +43,7 @@
 		}
 	}
 	if len(r.sends) > 10 || len(r.rejected) < 30 {
-		t.Errorf("%d sent at once to the one that is cold, %d refused", len(r.sends), len(r.rejected))
+		t.Errorf("%d sent at once to the one that is cold, %d rejected", len(r.sends), len(r.rejected))
 	}
 	// All are out: there is no exception.
 	b.SetCordon(now, 1, true)
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -7,7 +7,7 @@
 )
 
 // bounded is a balancer of three endpoints, and the bounds that it is told.
-func bounded(t *testing.T) (*Balancer, *recorder, *OverloadPolicy) {
+func withOverloadPolicy(t *testing.T) (*Balancer, *recorder, *OverloadPolicy) {
 	t.Helper()
 	s := testSettings()
 	b, r := startBalancer(t, s, readyEndpoints(3))
@@ -15,26 +15,27 @@
 	for i := range all {
 		all[i] = 1
 	}
-	to := &OverloadPolicy{AdmitRatio: all, OverQuotaAdmitRatio: make([]float64, len(all)), QueueWaitFraction: []float64{0.6, 0.6, 0.6, 0.6, 0.6}[:len(all)], TopQueueWaitFraction: 0.6,
+	to := &OverloadPolicy{AdmitRatio: all, OverQuotaAdmitRatio: make([]float64, len(all)),
+		QueueWaitFraction: []float64{0.6, 0.6, 0.6, 0.6, 0.6}[:len(all)], TopQueueWaitFraction: 0.6,
 		RetryAdmitRatio: 1, RetryAllowed: true, MaxProbeRate: 1000, ForcedAdmitInterval: 100 * second}
 	b.SetOverloadPolicy(to)
 	return b, r, to
 }
 
-// A part of the requests goes on, the same ones however often it is asked; what a tenant asks beyond its share goes by the
-// part for that.
+// A part of the requests goes on, the same ones however often it is asked; what a tenant asks beyond its share goes
+// by the part for that.
 func TestOverloadPolicyRejects(t *testing.T) {
-	b, _, to := bounded(t)
+	b, _, to := withOverloadPolicy(t)
 	to.AdmitRatio[0] = 0.3
 	went := 0
 	for id := range uint64(2000) {
 		in := newTestRequest(id, 0, 0)
 		after, away := b.ShouldReject(in)
 		if _, again := b.ShouldReject(in); again != away {
-			t.Fatalf("request %d: turned away %v, then %v", id, away, again)
+			t.Fatalf("request %d: rejected %v, then %v", id, away, again)
 		}
 		if away && b.settings.Limits.RetryAfter && after <= 0 {
-			t.Fatal("turned away without a word when to come back")
+			t.Fatal("rejected without a word when to come back")
 		}
 		if !away {
 			went++
@@ -79,12 +80,12 @@
 	}
 	b.SetOverloadPolicy(nil)
 	if _, away := b.ShouldReject(newTestRequest(1, 0, 0)); away {
-		t.Error("turned away without bounds")
+		t.Error("rejected without bounds")
 	}
 }
 
-// Where every endpoint is full, one request of a class passes against its limit in the time that the bounds give, not one
-// a second; and how soon the first does differs between balancers that start together.
+// Where every endpoint is full, one request of a class passes against its limit in the time that the bounds give, not
+// one a second; and how soon the first does differs between balancers that start together.
 func TestOverloadPolicySetsForcedAdmitInterval(t *testing.T) {
 	count := func(to *OverloadPolicy, b *Balancer, r *recorder) int {
 		for id := range uint32(3) {
@@ -103,25 +104,25 @@
 		}
 		return len(r.sends)
 	}
-	b, r, to := bounded(t)
+	b, r, to := withOverloadPolicy(t)
 	to.RetryAllowed = false
 	some := count(to, b, r)
-	b, r, _ = bounded(t)
+	b, r, _ = withOverloadPolicy(t)
 	b.SetOverloadPolicy(nil)
 	if all := count(nil, b, r); some > 1 || all < 10 {
 		t.Errorf("%d requests passed within 20 s, of one in 100 s; without bounds %d, of one a second", some, all)
 	}
 }
 
-// No further attempt goes out without the bounds' leave, whatever was saved up before.
+// No retry goes out without the bounds' leave, whatever was saved up before.
 func TestOverloadPolicyLimitsRetries(t *testing.T) {
 	for _, may := range []bool{true, false} {
-		b, r, to := bounded(t)
+		b, r, to := withOverloadPolicy(t)
 		to.RetryAllowed = may
 		b.HandleRequest(1000, newTestRequest(1, 0, 1000))
 		b.HandleOutcome(2000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: Rejected, Latency: 1000})
 		if again := len(r.sends) > 1; again != may {
-			t.Errorf("further attempts allowed %v, %d sends", may, len(r.sends))
+			t.Errorf("retries allowed %v, %d sends", may, len(r.sends))
 		}
 	}
 }
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -13,7 +13,7 @@
 	for _, c := range []struct {
 		name              string
 		accepts, failures int
-		refusals          int
+		rejections        int
 		spread            int // buckets that failures are spread over
 		want              float64
 	}{
@@ -22,7 +22,7 @@
 		{"one beyond protection", 0, 6, 0, 1, 1.0 / 7},
 		// 30 requests, 10 accepts in the newest bucket: K stays 1.5.
 		{"two thirds fail", 10, 20, 0, 1, (30.0 - 5 - 15) / 31},
-		{"refusals count as requests", 10, 0, 20, 1, (30.0 - 5 - 15) / 31},
+		{"rejections count as requests", 10, 0, 20, 1, (30.0 - 5 - 15) / 31},
 		{"all accepted", 40, 0, 0, 1, 0},
 		// 20 failing buckets after the accepts: K = 1.5 - 0.4*20/40 = 1.3.
 		{"K eases", 10, 20, 0, 20, (30.0 - 5 - 13) / 31},
@@ -38,7 +38,7 @@
 			}
 			k.record(now, 0, 1)
 		}
-		for range c.refusals {
+		for range c.rejections {
 			k.record(now, 0, 0)
 		}
 		if got := k.errorRejectChance(now); !near(got, c.want) {
@@ -141,7 +141,7 @@
 			}
 			out := 0
 			for _, e := range b.endpoints {
-				if now < e.outlier.ejectedUntil {
+				if now < e.outliers[allTraffic].ejectedUntil {
 					out++
 				}
 			}
--- a/balancer/decisions_test.go
+++ b/balancer/decisions_test.go
@@ -38,7 +38,7 @@
 	report     []float32 // the latest one, where reports are made anew only now and then
 	reportAt   monotime.Micros
 
-	failing, full, refusing, silent, nonsense bool
+	failing, full, unreachable, silent, nonsense bool
 }
 
 type simEvent struct {
@@ -138,7 +138,7 @@
 	status := balancer.OK
 	draw := s.random.Float64()
 	switch {
-	case e.State == balancer.Gone || e.refusing:
+	case e.State == balancer.Gone || e.unreachable:
 		status, latency = balancer.ConnectFailed, 2*millisecond
 	case e.full && draw < 0.7:
 		status, latency = balancer.Rejected, millisecond
@@ -181,7 +181,8 @@
 		r.answered = true
 	}
 	o := balancer.Outcome{ID: r.request.ID, Attempt: number, Endpoint: a.endpoint.ID, Status: status,
-		Latency: s.now - a.sentAt, Answered: r.answered, NotReplayable: s.random.IntN(40) == 0, Load: s.load(a.endpoint)}
+		Latency: s.now - a.sentAt, Answered: r.answered, NotReplayable: s.random.IntN(40) == 0,
+		Load: s.load(a.endpoint)}
 	s.note("event outcome", o.ID, o.Attempt, uint8(o.Status), o.Latency, o.Answered, o.NotReplayable)
 	s.balancer.HandleOutcome(s.now, o)
 }
@@ -223,7 +224,7 @@
 	latency := 300 + s.random.Int64N(400)
 	s.after(latency, func() {
 		status := balancer.OK
-		if e.refusing || e.State == balancer.Gone {
+		if e.unreachable || e.State == balancer.Gone {
 			status = balancer.ConnectFailed
 		}
 		load := s.load(e)
@@ -271,7 +272,7 @@
 	}
 }
 
-func (s *simulation) Log(string) { s.note("log") }
+func (s *simulation) Log(string, ...any) { s.note("log") }
 
 func (s *simulation) list() []balancer.Endpoint {
 	var list []balancer.Endpoint
@@ -297,7 +298,8 @@
 		return
 	}
 	s.nextID++
-	in := balancer.Request{ID: s.nextID, IdempotencyKey: s.random.Uint64(), Class: uint8(s.random.IntN(len(s.settings.Classes))),
+	in := balancer.Request{ID: s.nextID, IdempotencyKey: s.random.Uint64(),
+		Class:  uint8(s.random.IntN(len(s.settings.Classes))),
 		Tenant: uint16(s.random.IntN(3)), Retry: s.random.IntN(8) == 0, Upload: s.random.IntN(30) == 0}
 	in.Deadline = s.now + s.settings.Classes[in.Class].ClientTimeout
 	switch s.random.IntN(25) {
@@ -310,13 +312,15 @@
 	}
 	if in.Class%2 == 0 && s.random.IntN(10) > 0 {
 		in.HasWorkHint = true
-		in.WorkHint = monotime.Micros(float64(s.settings.Classes[in.Class].LatencyObjective) / 8 * s.random.ExpFloat64())
+		objective := float64(s.settings.Classes[in.Class].LatencyObjective)
+		in.WorkHint = monotime.Micros(objective / 8 * s.random.ExpFloat64())
 	}
 	if s.random.IntN(500) == 0 {
 		in.Class = 200 // none of the settings
 	}
 	after, rejected := s.balancer.ShouldReject(in)
-	s.note("event request", in.ID, in.IdempotencyKey, in.Deadline, in.QueueTime, in.WorkHint, in.HasWorkHint, in.Retry, in.MaxAttempts, in.Upload,
+	s.note("event request", in.ID, in.IdempotencyKey, in.Deadline, in.QueueTime, in.WorkHint, in.HasWorkHint,
+		in.Retry, in.MaxAttempts, in.Upload,
 		in.Tenant, in.Class, after, rejected, s.balancer.QueueWaitFraction(s.now, in))
 	if !rejected {
 		r := &simRequest{request: in}
@@ -389,10 +393,10 @@
 	s.phase(2*second, rate)
 	s.change(func(e *simEndpoint) { e.silent = false }, 2)
 	s.change(func(e *simEndpoint) { e.full = true }, 4, 5)
-	s.change(func(e *simEndpoint) { e.refusing = true }, 0)
+	s.change(func(e *simEndpoint) { e.unreachable = true }, 0)
 	s.operatorCalls(true)
 	s.phase(1500*millisecond, 4*rate) // overload
-	s.change(func(e *simEndpoint) { e.full, e.refusing, e.nonsense = false, false, false }, 0, 3, 4, 5)
+	s.change(func(e *simEndpoint) { e.full, e.unreachable, e.nonsense = false, false, false }, 0, 3, 4, 5)
 	s.operatorCalls(false)
 	s.boundsOn()
 	s.phase(1500*millisecond, 4*rate)
@@ -444,8 +448,10 @@
 	}
 	n := len(s.settings.Classes)
 	of := func(x float64) []float64 { return slices.Repeat([]float64{x}, n) }
-	bounds := &balancer.OverloadPolicy{AdmitRatio: of(0.7), OverQuotaAdmitRatio: of(0.3), WithinQuotaRatio: []float64{0.9, 0.5}, RetryAdmitRatio: 0.5,
-		QueueWaitFraction: of(0.25), TopQueueWaitFraction: 0.7, TopRatio: 0.1, ForcedAdmitInterval: 3 * second, RetryAllowed: true, MaxProbeRate: 20}
+	bounds := &balancer.OverloadPolicy{AdmitRatio: of(0.7), OverQuotaAdmitRatio: of(0.3),
+		WithinQuotaRatio: []float64{0.9, 0.5}, RetryAdmitRatio: 0.5,
+		QueueWaitFraction: of(0.25), TopQueueWaitFraction: 0.7, TopRatio: 0.1, ForcedAdmitInterval: 3 * second,
+		RetryAllowed: true, MaxProbeRate: 20}
 	s.balancer.SetOverloadPolicy(bounds)
 	s.after(500*millisecond, func() { bounds.RetryAllowed = false })
 }
@@ -475,8 +481,10 @@
 }
 
 func baseSettings() balancer.Settings {
-	class := func(name string, repeat balancer.Idempotency, group balancer.DedupScope, aim monotime.Micros) balancer.Class {
-		c := balancer.Class{Name: name, Idempotency: repeat, DedupScope: group, LatencyObjective: aim, ClientTimeout: 4 * aim, PriorityWeight: 1,
+	class := func(name string, repeat balancer.Idempotency, group balancer.DedupScope,
+		aim monotime.Micros) balancer.Class {
+		c := balancer.Class{Name: name, Idempotency: repeat, DedupScope: group, LatencyObjective: aim,
+			ClientTimeout: 4 * aim, PriorityWeight: 1,
 			LateWeight: 0.3}
 		if repeat == balancer.IdempotentByKey {
 			c.DedupWindow = 2 * aim
@@ -530,9 +538,11 @@
 		{"without-probes", usual, func(s *balancer.Settings) { s.Limits.Probes = false }},
 		{"dear-probes", usual, func(s *balancer.Settings) { s.Prices.Probe = 1000 }},
 		{"free-probes", usual, func(s *balancer.Settings) { s.Prices.Probe = 0 }},
-		{"reports-without-load", usual, func(s *balancer.Settings) { s.LoadMetrics = []balancer.LoadMetric{balancer.MetricUtilization} }},
+		{"reports-without-load", usual,
+			func(s *balancer.Settings) { s.LoadMetrics = []balancer.LoadMetric{balancer.MetricUtilization} }},
 		{"queue-and-latency", usual, func(s *balancer.Settings) {
-			s.LoadMetrics = []balancer.LoadMetric{balancer.MetricUnknown, balancer.MetricQueueLength, balancer.MetricLatency}
+			s.LoadMetrics = []balancer.LoadMetric{balancer.MetricUnknown, balancer.MetricQueueLength,
+				balancer.MetricLatency}
 		}},
 		{"late-reports", with(func(o *runOptions) { o.staleFor = second }), none},
 		{"without-permits", usual, func(s *balancer.Settings) {
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -14,18 +14,19 @@
 	h.sent = append(h.sent, endpoint)
 	fmt.Printf("send request %d to endpoint %d\n", id, endpoint)
 }
-func (h *host) Reject(id uint64, after monotime.Micros) { fmt.Printf("refuse request %d\n", id) }
+func (h *host) Reject(id uint64, after monotime.Micros) { fmt.Printf("reject request %d\n", id) }
 func (h *host) Fail(id uint64)                          { fmt.Printf("fail request %d\n", id) }
 func (h *host) Cancel(id uint64, attempt int)           {}
 func (h *host) SetTimer(monotime.Micros, uint32)        {}
 func (h *host) Probe(endpoint uint32)                   {}
 func (h *host) Watch(on bool)                           {}
-func (h *host) Log(line string)                         { fmt.Println(line) }
+func (h *host) Log(message string, args ...any)         { fmt.Println(message, args) }
 
 func Example() {
 	settings := balancer.Settings{
-		Balancers:   1,
-		Classes:     []balancer.Class{{Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 200_000, ClientTimeout: 800_000, PriorityWeight: 1}},
+		Balancers: 1,
+		Classes: []balancer.Class{{Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 200_000,
+			ClientTimeout: 800_000, PriorityWeight: 1}},
 		LoadMetrics: []balancer.LoadMetric{balancer.MetricInflight},
 		Limits:      balancer.Limits{Probes: true, MaxAttempts: 2, MaxOpenRequests: 1000},
 		Contract:    balancer.Contract{WarmupStartCapacity: 0.2, WarmupTime: 10_000_000, CollapseMultiple: 2.5},
@@ -44,12 +45,14 @@
 
 	b.HandleRequest(2_000, balancer.Request{ID: 1, Deadline: 802_000})
 	b.HandleOutcome(3_000, balancer.Outcome{ID: 1, Endpoint: 8, Status: balancer.Error, Latency: 1_000})
-	b.HandleOutcome(40_000, balancer.Outcome{ID: 1, Attempt: 1, Endpoint: 7, Status: balancer.OK, Latency: 37_000, Answered: true})
+	b.HandleOutcome(40_000, balancer.Outcome{ID: 1, Attempt: 1, Endpoint: 7, Status: balancer.OK, Latency: 37_000,
+		Answered: true})
 
-	b.UpdateEndpoints(50_000, balancer.ListDelta, []balancer.Endpoint{{ID: 7, State: balancer.Gone}, {ID: 8, State: balancer.Draining}})
+	b.UpdateEndpoints(50_000, balancer.ListDelta,
+		[]balancer.Endpoint{{ID: 7, State: balancer.Gone}, {ID: 8, State: balancer.Draining}})
 	b.HandleRequest(60_000, balancer.Request{ID: 2, Deadline: 860_000})
 	// Output:
 	// send request 1 to endpoint 8
 	// send request 1 to endpoint 7
-	// refuse request 2
+	// reject request 2
 }
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Warm endpoints are busy, new cold ones idle: each of eighty balancers lets a cold one have only its own part, and
-// must give it that while there is room. What they give together stays within what the cold ones can take.
+// Warm endpoints are busy, new warming ones idle: each of eighty balancers lets a warming one have only its own part,
+// and must give it that while there is room. What they give together stays within what the warming ones can take.
 func TestWarmingEndpointsGetTheirPart(t *testing.T) {
 	const balancers, warm, cold, rate, work = 80, 24, 36, 20.0, 0.05
 	s := testSettings()
@@ -87,7 +87,8 @@
 			if e > warm && now >= 5*second {
 				inWindow[e] += work
 			}
-			b.HandleOutcome(now, Outcome{ID: id, Endpoint: e, Status: OK, Latency: monotime.Micros(3 * work * float64(second))})
+			b.HandleOutcome(now, Outcome{ID: id, Endpoint: e, Status: OK,
+				Latency: monotime.Micros(3 * work * float64(second))})
 		}
 	}
 	least := 2 * s.Contract.WarmupStartCapacity // cores' worth of an endpoint's least capacity
@@ -95,99 +96,135 @@
 	for e, got := range inWindow {
 		all += got
 		if most := s.Contract.CollapseMultiple * least * 2; got > most {
-			t.Errorf("endpoint %d was sent %.1f s of work in 2 s, falls over from %.1f s on", e, got, most)
+			t.Errorf("endpoint %d was sent %.1f s of work in 2 s, collapses from %.1f s on", e, got, most)
 		}
 	}
 	if used := all / (cold * least * 2); used < 0.5 {
-		t.Errorf("cold endpoints got %.0f%% of the least that they can do, want half at least", 100*used)
+		t.Errorf("warming endpoints got %.0f%% of the least that they can do, want half at least", 100*used)
 	}
 }
 
-// asking is a balancer that asks a discovery which answers few calls and fails those that wait too long.
+// pollingBalancer is a balancer that polls a discovery which answers few calls and fails those that wait too long.
 type pollingBalancer struct {
 	balancer   *Balancer
 	recorder   *recorder
-	nextTimer  monotime.Micros // of its next timer of discovery
+	pollAt     monotime.Micros // its next timer of discovery; 0 is none
 	timersSeen int             // of its recorder's timers
 	notified   bool
 }
 
-func (a *pollingBalancer) next(now monotime.Micros) {
-	for ; a.timersSeen < len(a.recorder.timers); a.timersSeen++ {
-		if a.recorder.timers[a.timersSeen] == tokenDiscovery {
-			a.nextTimer = now + a.recorder.delays[a.timersSeen]
+// update takes over the timers that the balancer has set.
+func (p *pollingBalancer) update(now monotime.Micros) {
+	for ; p.timersSeen < len(p.recorder.timers); p.timersSeen++ {
+		if p.recorder.timers[p.timersSeen] == tokenDiscovery {
+			p.pollAt = now + p.recorder.delays[p.timersSeen]
 		}
 	}
 }
 
-// Eighty sidecars start within 100 ms while discovery answers four calls a second and fails what waits for two seconds.
-// All are told within a minute, calls do not come faster than it fails them, and meanwhile the known list serves.
-func TestFleetPollsOverloadedDiscovery(t *testing.T) {
-	const balancers, perCall, patience = 80, second / 4, 2 * second
-	s := testSettings()
-	s.Subscribe, s.Balancers = true, balancers
+// poll calls the timer of discovery if it is due, and says whether the balancer polled.
+func (p *pollingBalancer) poll(now monotime.Micros) bool {
+	if p.pollAt == 0 || p.pollAt > now {
+		return false
+	}
+	p.pollAt = 0
+	before := p.recorder.watches
+	p.balancer.HandleTimer(now, tokenDiscovery)
+	p.update(now)
+	return p.recorder.watches > before
+}
+
+// mustServe has the balancer send a request.
+func (p *pollingBalancer) mustServe(t *testing.T, now monotime.Micros) {
+	t.Helper()
+	id := uint64(now) + 1
+	sends := len(p.recorder.sends)
+	p.balancer.HandleRequest(now, Request{ID: id, Deadline: now + second})
+	if len(p.recorder.sends) != sends+1 {
+		t.Fatalf("at %d ms a request was not sent: the known list should serve", now/1000)
+	}
+	p.balancer.HandleOutcome(now, Outcome{ID: id, Endpoint: p.recorder.sends[sends].endpoint, Status: OK,
+		Latency: 30_000, Answered: true})
+}
+
+func startPollingFleet(t *testing.T, s Settings) []*pollingBalancer {
+	t.Helper()
 	rng := randomSource(9)
 	var fleet []*pollingBalancer
-	for seed := range uint64(balancers) {
-		a := &pollingBalancer{recorder: &recorder{}}
+	for seed := range uint64(s.Balancers) {
+		p := &pollingBalancer{recorder: &recorder{}}
 		var err error
-		if a.balancer, err = New(s, seed, a.recorder); err != nil {
+		if p.balancer, err = New(s, seed, p.recorder); err != nil {
 			t.Fatal(err)
 		}
 		from := rng.durationBelow(second / 10)
-		a.balancer.Start(from)
-		a.balancer.UpdateEndpoints(from, ListCached, readyEndpoints(6))
-		a.next(from)
-		fleet = append(fleet, a)
+		p.balancer.Start(from)
+		p.balancer.UpdateEndpoints(from, ListCached, readyEndpoints(6))
+		p.update(from)
+		fleet = append(fleet, p)
 	}
-	type call struct {
-		a  *pollingBalancer
-		at monotime.Micros
+	return fleet
+}
+
+// slowDiscovery answers one call after the other.
+type slowDiscovery struct {
+	callTime, timeout monotime.Micros
+	queue             []discoveryCall
+	freeAt            monotime.Micros
+	notified          int // balancers that have a list
+}
+
+type discoveryCall struct {
+	from *pollingBalancer
+	at   monotime.Micros
+}
+
+// answer answers the calls that are due, and fails those that have waited for too long.
+func (d *slowDiscovery) answer(now monotime.Micros) {
+	for len(d.queue) > 0 && (now >= d.freeAt || now-d.queue[0].at > d.timeout) {
+		c := d.queue[0]
+		d.queue = d.queue[1:]
+		if now-c.at > d.timeout {
+			c.from.balancer.UpdateEndpoints(now, ListFailed, nil)
+			c.from.update(now)
+			continue
+		}
+		d.freeAt = now + d.callTime
+		c.from.balancer.UpdateEndpoints(now, ListFull, readyEndpoints(6))
+		if !c.from.notified {
+			c.from.notified = true
+			d.notified++
+		}
 	}
-	var line []call
-	var free monotime.Micros
+}
+
+// Eighty sidecars start within 100 ms while discovery answers four calls a second and fails what waits for two
+// seconds. All are notified within a minute, calls do not come faster than it fails them, and meanwhile the known list
+// serves.
+func TestFleetPollsOverloadedDiscovery(t *testing.T) {
+	const balancers = 80
+	s := testSettings()
+	s.Subscribe = true
+	s.Balancers = balancers
+	fleet := startPollingFleet(t, s)
+	discovery := &slowDiscovery{callTime: second / 4, timeout: 2 * second}
 	inSecond := map[monotime.Micros]int{}
-	calls, told := 0, 0
-	for now := monotime.Micros(0); now < 60*second && told < balancers; now += 10_000 {
-		for _, a := range fleet {
-			if a.nextTimer > 0 && a.nextTimer <= now {
-				a.nextTimer = 0
-				was := a.recorder.watches
-				a.balancer.HandleTimer(now, tokenDiscovery)
-				if a.recorder.watches > was {
-					calls++
-					inSecond[now/second]++
-					line = append(line, call{a, now})
-				}
-				a.next(now)
-			}
-			id := uint64(now) + 1
-			if n := len(a.recorder.sends); now%second == 0 {
-				a.balancer.HandleRequest(now, Request{ID: id, Deadline: now + second})
-				if len(a.recorder.sends) != n+1 {
-					t.Fatalf("at %d ms a request was not sent: the known list should serve", now/1000)
-				}
-				a.balancer.HandleOutcome(now, Outcome{ID: id, Endpoint: a.recorder.sends[n].endpoint, Status: OK, Latency: 30_000, Answered: true})
+	calls := 0
+	for now := monotime.Micros(0); now < 60*second && discovery.notified < balancers; now += 10_000 {
+		for _, p := range fleet {
+			if p.poll(now) {
+				calls++
+				inSecond[now/second]++
+				discovery.queue = append(discovery.queue, discoveryCall{p, now})
 			}
-		}
-		for len(line) > 0 && (now >= free || now-line[0].at > patience) {
-			c := line[0]
-			line = line[1:]
-			if now-c.at > patience {
-				c.a.balancer.UpdateEndpoints(now, ListFailed, nil)
-				c.a.next(now)
-				continue
-			}
-			free = now + perCall
-			c.a.balancer.UpdateEndpoints(now, ListFull, readyEndpoints(6))
-			if !c.a.notified {
-				c.a.notified = true
-				told++
+			if now%second == 0 {
+				p.mustServe(t, now)
 			}
 		}
+		discovery.answer(now)
 	}
-	if told < balancers {
-		t.Errorf("%d of %d were told in a minute, by %d calls", told, balancers, calls)
+	if discovery.notified < balancers {
+		t.Errorf("%d of %d were notified in a minute, by %d calls", discovery.notified, balancers, calls)
 	}
 	for at, n := range inSecond {
 		if n > balancers/2 {
@@ -195,11 +232,12 @@
 		}
 	}
 	if calls > 6*balancers {
-		t.Errorf("%d calls to tell %d", calls, balancers)
+		t.Errorf("%d calls to notify %d", calls, balancers)
 	}
 }
 
-// A first list that never comes: what is known serves, and where nothing is known all is refused at once and asked for on.
+// A first list that never comes: what is known serves, and where nothing is known all is rejected at once and asked
+// for on.
 func TestFirstListNeverComes(t *testing.T) {
 	for _, known := range []int{0, 5} {
 		s := testSettings()
@@ -220,7 +258,7 @@
 			id := uint64(now) + 1
 			b.HandleRequest(now, newTestRequest(id, 0, now))
 			if known == 0 && (len(r.rejected) == 0 || r.rejected[len(r.rejected)-1] != id) {
-				t.Fatalf("at %d s: not refused at once", now/second)
+				t.Fatalf("at %d s: not rejected at once", now/second)
 			}
 			if known > 0 {
 				n := len(r.sends)
@@ -269,7 +307,8 @@
 					t.Errorf("%d changes: a request went to endpoint %d, which is gone", changes, r.sends[n].endpoint)
 				}
 				if len(r.sends) > n {
-					b.HandleOutcome(now, Outcome{ID: r.sends[n].id, Endpoint: r.sends[n].endpoint, Status: OK, Latency: 20_000, Answered: true})
+					b.HandleOutcome(now, Outcome{ID: r.sends[n].id, Endpoint: r.sends[n].endpoint, Status: OK,
+						Latency: 20_000, Answered: true})
 				}
 			}
 		}
@@ -278,13 +317,16 @@
 			if removed[x.endpoint] && x.id%2 == 0 {
 				status = Reset
 			}
-			b.HandleOutcome(now, Outcome{ID: x.id, Endpoint: x.endpoint, Status: status, Latency: now, Answered: status == OK})
+			b.HandleOutcome(now, Outcome{ID: x.id, Endpoint: x.endpoint, Status: status, Latency: now,
+				Answered: status == OK})
 		}
 		for i := len(open); len(r.sends) > i; i++ { // the second tries of those
-			b.HandleOutcome(now, Outcome{ID: r.sends[i].id, Attempt: 1, Endpoint: r.sends[i].endpoint, Status: OK, Latency: 20_000, Answered: true})
+			b.HandleOutcome(now, Outcome{ID: r.sends[i].id, Attempt: 1, Endpoint: r.sends[i].endpoint, Status: OK,
+				Latency: 20_000, Answered: true})
 		}
 		if b.openRequests != 0 || len(b.requests) != 0 {
-			t.Errorf("%d changes: %d requests have no answer, %d are remembered", changes, b.openRequests, len(b.requests))
+			t.Errorf("%d changes: %d requests have no answer, %d are remembered", changes, b.openRequests,
+				len(b.requests))
 		}
 		b.UpdateEndpoints(now, ListDelta, nil)
 		if len(b.endpoints) != all {
@@ -293,7 +335,7 @@
 	}
 }
 
-// A list that shrinks to one: all goes there while an answer would be in time, the rest is refused at once, and when
+// A list that shrinks to one: all goes there while an answer would be in time, the rest is rejected at once, and when
 // the others come back they are used again.
 func TestListShrinksToOne(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(20))
@@ -304,7 +346,7 @@
 		b.HandleRequest(now, newTestRequest(i+1, 0, now))
 	}
 	if len(r.sends)+len(r.rejected) != 200 || len(r.rejected) == 0 || len(r.sends) == 0 {
-		t.Fatalf("%d sent, %d refused of 200", len(r.sends), len(r.rejected))
+		t.Fatalf("%d sent, %d rejected of 200", len(r.sends), len(r.rejected))
 	}
 	for _, x := range r.sends {
 		if x.endpoint != 1 {
@@ -362,7 +404,8 @@
 					failed[id] = true
 					continue
 				}
-				b.HandleOutcome(now, Outcome{ID: id, Attempt: try, Endpoint: e, Status: OK, Latency: 30_000, Answered: true})
+				b.HandleOutcome(now, Outcome{ID: id, Attempt: try, Endpoint: e, Status: OK, Latency: 30_000,
+					Answered: true})
 				served++
 			}
 		}
@@ -375,36 +418,41 @@
 	}
 }
 
-// crowd is a fleet of balancers at the same endpoints, in simulated time: each endpoint works through what it is sent on
-// so many cores' worth as it has at that instant, and answers probes with what it holds.
-type crowd struct {
-	fleet []*Balancer
-	outs  []*recorder
-	rates []float64 // requests a second, of each balancer
-	work  monotime.Micros
-	can   func(e uint32, at monotime.Micros) float64 // cores' worth; 0 fails all at once
+// crowd is a fleet of balancers at the same endpoints, in simulated time: each endpoint works through what it is sent
+// on so many cores' worth as it has at that instant, and answers probes with what it holds.
+type simFleet struct {
+	balancers []*Balancer
+	recorders []*recorder
+	rates     []float64 // requests a second, of each balancer
+	work      monotime.Micros
+	capacity  func(e uint32, at monotime.Micros) float64 // cores' worth; 0 fails all at once
 
-	rng    randomSource
-	id     uint64
-	timers []int                      // of each balancer that were scheduled
-	sent   []int                      // of each balancer that were carried out
-	begun  map[uint64]monotime.Micros // of requests
-	tries  map[uint64]int             // that have an outcome
-	free   map[uint32]monotime.Micros // when an endpoint will have done what it has
-	held   map[uint32]int
-	due    map[monotime.Micros][]func(now monotime.Micros)
-	sends  map[uint32][]monotime.Micros
-	asked  []int // requests of each balancer
-	served []int // of them answered within the aim
-	late   monotime.Micros
-	lately int // answered from then on
+	random        randomSource
+	lastID        uint64
+	timersDone    []int                      // of each balancer that were scheduled
+	sendsDone     []int                      // of each balancer that were carried out
+	startedAt     map[uint64]monotime.Micros // of requests
+	outcomes      map[uint64]int             // that have an outcome
+	freeAt        map[uint32]monotime.Micros // when an endpoint will have done what it has
+	inflight      map[uint32]int
+	events        map[monotime.Micros][]func(now monotime.Micros)
+	sends         map[uint32][]monotime.Micros
+	requests      []int // requests of each balancer
+	onTime        []int // of them answered within the latency objective
+	recentFrom    monotime.Micros
+	recentAnswers int // answered from then on
 }
 
-func newCrowd(t *testing.T, s Settings, rates []float64, work monotime.Micros) *crowd {
+func newSimFleet(t *testing.T, s Settings, rates []float64, work monotime.Micros) *simFleet {
 	t.Helper()
-	c := &crowd{rates: rates, work: work, rng: 9, free: map[uint32]monotime.Micros{}, held: map[uint32]int{}, due: map[monotime.Micros][]func(monotime.Micros){},
-		sends: map[uint32][]monotime.Micros{}, timers: make([]int, len(rates)), sent: make([]int, len(rates)),
-		begun: map[uint64]monotime.Micros{}, tries: map[uint64]int{}, asked: make([]int, len(rates)), served: make([]int, len(rates))}
+	c := &simFleet{rates: rates, work: work, random: 9, freeAt: map[uint32]monotime.Micros{},
+		inflight: map[uint32]int{},
+		events:   map[monotime.Micros][]func(monotime.Micros){},
+		sends:    map[uint32][]monotime.Micros{}, timersDone: make([]int, len(rates)),
+		sendsDone: make([]int, len(rates)),
+		startedAt: map[uint64]monotime.Micros{}, outcomes: map[uint64]int{}, requests: make([]int,
+			len(rates)), onTime: make([]int,
+			len(rates))}
 	for i := range rates {
 		b, out := startBalancer(t, s, nil)
 		b.random = randomSource(i)
@@ -412,99 +460,103 @@
 		for k := range b.classes {
 			b.classes[k].meanWork = b.meanWork
 		}
-		c.fleet, c.outs = append(c.fleet, b), append(c.outs, out)
+		c.balancers, c.recorders = append(c.balancers, b), append(c.recorders, out)
 	}
 	return c
 }
 
-const crowdStep monotime.Micros = 1000
+const simStep monotime.Micros = 1000
 
-func (c *crowd) at(now, at monotime.Micros, f func(now monotime.Micros)) {
-	n := max(now/crowdStep+1, at/crowdStep)
-	c.due[n] = append(c.due[n], f)
+func (c *simFleet) schedule(now, at monotime.Micros, f func(now monotime.Micros)) {
+	n := max(now/simStep+1, at/simStep)
+	c.events[n] = append(c.events[n], f)
 }
 
 // carry carries out what a balancer has asked for.
-func (c *crowd) carry(now monotime.Micros, i int) {
-	b, out := c.fleet[i], c.outs[i]
-	for ; c.sent[i] < len(out.sends); c.sent[i]++ {
-		x := out.sends[c.sent[i]]
+func (c *simFleet) carryOut(now monotime.Micros, i int) {
+	b, out := c.balancers[i], c.recorders[i]
+	for ; c.sendsDone[i] < len(out.sends); c.sendsDone[i]++ {
+		x := out.sends[c.sendsDone[i]]
 		c.sends[x.endpoint] = append(c.sends[x.endpoint], now)
-		can := c.can(x.endpoint, now)
+		can := c.capacity(x.endpoint, now)
 		if can == 0 {
-			c.at(now, now+1000, func(then monotime.Micros) { c.answer(then, i, x, Error, 1000) })
+			c.schedule(now, now+1000, func(then monotime.Micros) { c.answer(then, i, x, Error, 1000) })
 			continue
 		}
-		c.free[x.endpoint] = max(c.free[x.endpoint], now) + monotime.Micros(float64(c.work)/can)
-		c.held[x.endpoint]++
-		c.at(now, max(c.free[x.endpoint], now+monotime.Micros(float64(c.work)*assumedCores/can)), func(then monotime.Micros) {
-			c.held[x.endpoint]--
-			c.answer(then, i, x, OK, then-now)
-		})
+		c.freeAt[x.endpoint] = max(c.freeAt[x.endpoint], now) + monotime.Micros(float64(c.work)/can)
+		c.inflight[x.endpoint]++
+		c.schedule(now, max(c.freeAt[x.endpoint], now+monotime.Micros(float64(c.work)*assumedCores/can)),
+			func(then monotime.Micros) {
+				c.inflight[x.endpoint]--
+				c.answer(then, i, x, OK, then-now)
+			})
 	}
 	for _, e := range out.probes {
-		c.at(now, now+1000, func(then monotime.Micros) {
-			b.HandleProbe(then, e, OK, 1000, []float32{float32(c.held[e])})
-			c.carry(then, i)
+		c.schedule(now, now+1000, func(then monotime.Micros) {
+			b.HandleProbe(then, e, OK, 1000, []float32{float32(c.inflight[e])})
+			c.carryOut(then, i)
 		})
 	}
 	out.probes = out.probes[:0]
-	for ; c.timers[i] < len(out.timers); c.timers[i]++ {
-		token, delay := out.timers[c.timers[i]], out.delays[c.timers[i]]
-		c.at(now, now+delay, func(then monotime.Micros) {
+	for ; c.timersDone[i] < len(out.timers); c.timersDone[i]++ {
+		token, delay := out.timers[c.timersDone[i]], out.delays[c.timersDone[i]]
+		c.schedule(now, now+delay, func(then monotime.Micros) {
 			b.HandleTimer(then, token)
-			c.carry(then, i)
+			c.carryOut(then, i)
 		})
 	}
 }
 
-func (c *crowd) answer(now monotime.Micros, i int, x sent, status Status, latency monotime.Micros) {
-	b := c.fleet[i]
-	b.HandleOutcome(now, Outcome{ID: x.id, Attempt: c.tries[x.id], Endpoint: x.endpoint, Status: status, Latency: latency, Answered: status == OK})
-	c.tries[x.id]++
+func (c *simFleet) answer(now monotime.Micros, i int, x sent, status Status, latency monotime.Micros) {
+	b := c.balancers[i]
+	b.HandleOutcome(now, Outcome{ID: x.id, Attempt: c.outcomes[x.id], Endpoint: x.endpoint, Status: status,
+		Latency: latency, Answered: status == OK})
+	c.outcomes[x.id]++
 	if status == OK {
-		c.served[i] += int(indicator(now-c.begun[x.id] <= b.settings.Classes[0].LatencyObjective))
-		c.lately += int(indicator(now >= c.late))
+		c.onTime[i] += int(indicator(now-c.startedAt[x.id] <= b.settings.Classes[0].LatencyObjective))
+		c.recentAnswers += int(indicator(now >= c.recentFrom))
 	}
-	c.carry(now, i)
+	c.carryOut(now, i)
 }
 
 // play plays a stretch of time.
-func (c *crowd) play(from, to monotime.Micros) {
-	c.late, c.lately = to-second, 0
-	for now := from; now < to; now += crowdStep {
-		for _, f := range c.due[now/crowdStep] {
+func (c *simFleet) run(from, to monotime.Micros) {
+	c.recentFrom, c.recentAnswers = to-second, 0
+	for now := from; now < to; now += simStep {
+		for _, f := range c.events[now/simStep] {
 			f(now)
 		}
-		delete(c.due, now/crowdStep)
-		for i, b := range c.fleet {
-			if c.rng.float() < c.rates[i]*float64(crowdStep)/float64(second) {
-				c.id++
-				c.asked[i]++
-				c.begun[c.id] = now
-				b.HandleRequest(now, Request{ID: c.id, Deadline: now + b.settings.Classes[0].ClientTimeout})
-				c.carry(now, i)
+		delete(c.events, now/simStep)
+		for i, b := range c.balancers {
+			if c.random.float() < c.rates[i]*float64(simStep)/float64(second) {
+				c.lastID++
+				c.requests[i]++
+				c.startedAt[c.lastID] = now
+				b.HandleRequest(now, Request{ID: c.lastID, Deadline: now + b.settings.Classes[0].ClientTimeout})
+				c.carryOut(now, i)
 			}
 		}
 	}
 }
 
-// The power comes back: five hundred balancers start with all endpoints cold, of which the list tells a few at first. What
-// each alone takes for its small part is many times what the few can do. None may be pushed over, and what they serve grows.
+// The power comes back: five hundred balancers start with all endpoints warming up, of which the list tells a few at
+// first. What each alone takes for its small part is many times what the few can do. None may be made to collapse,
+// and what they serve grows.
 func TestPowerCutCollapsesNoEndpoint(t *testing.T) {
-	for _, told := range []int{500, 50, 5000} { // the size of the fleet, right and wrong by ten either way
-		t.Run(fmt.Sprint(told), func(t *testing.T) { powerCut(t, told) })
+	for _, assumedBalancers := range []int{500, 50, 5000} { // the size of the fleet, right and wrong by ten either way
+		t.Run(fmt.Sprint(assumedBalancers), func(t *testing.T) { powerCut(t, assumedBalancers) })
 	}
 }
 
-func powerCut(t *testing.T, told int) {
+func powerCut(t *testing.T, assumedBalancers int) {
 	const balancers, end = 500, 6 * second
 	s := testSettings()
-	s.Balancers = told
+	s.Balancers = assumedBalancers
 	s.Contract.CollapseAfter, s.Contract.WarmupTime = 2*second, 20*second
-	c := newCrowd(t, s, slices.Repeat([]float64{6}, balancers), 35_000)
-	c.can = func(_ uint32, at monotime.Micros) float64 {
-		return assumedCores * (s.Contract.WarmupStartCapacity + (1-s.Contract.WarmupStartCapacity)*float64(at)/float64(s.Contract.WarmupTime))
+	c := newSimFleet(t, s, slices.Repeat([]float64{6}, balancers), 35_000)
+	c.capacity = func(_ uint32, at monotime.Micros) float64 {
+		return assumedCores * (s.Contract.WarmupStartCapacity +
+			(1-s.Contract.WarmupStartCapacity)*float64(at)/float64(s.Contract.WarmupTime))
 	}
 	steps := []struct {
 		at monotime.Micros
@@ -515,10 +567,10 @@
 		for i := range list {
 			list[i].StartTime = 1
 		}
-		for _, b := range c.fleet {
+		for _, b := range c.balancers {
 			b.UpdateEndpoints(now.at+1, ListFull, list)
 		}
-		c.play(now.at, steps[i+1].at)
+		c.run(now.at, steps[i+1].at)
 	}
 	for e, at := range c.sends {
 		for i, from := 0, 0; i < len(at); i++ {
@@ -526,40 +578,43 @@
 				from++
 			}
 			got := float64(i-from+1) * float64(c.work)
-			if most := s.Contract.CollapseMultiple * c.can(e, at[i]) * float64(s.Contract.CollapseAfter) * 1.1; got > most {
-				t.Fatalf("endpoint %d had %.1f s of work sent in the 2 s before %d ms, falls over from %.1f s on", e, got/1e6, at[i]/1000, most/1e6)
+			if most := s.Contract.CollapseMultiple * c.capacity(e,
+				at[i]) * float64(s.Contract.CollapseAfter) * 1.1; got > most {
+				t.Fatalf("endpoint %d had %.1f s of work sent in the 2 s before %d ms, collapses from %.1f s on", e,
+					got/1e6, at[i]/1000, most/1e6)
 			}
 		}
 	}
 	part := 0.4 // of what thirty endpoints can do
-	if told > balancers {
+	if assumedBalancers > balancers {
 		part = 0.2
 	}
-	if least := part * 30 * c.can(0, end) * float64(second) / float64(c.work); float64(c.lately) < least {
-		t.Errorf("%d served in the last second of 6, want %.0f", c.lately, least)
+	if least := part * 30 * c.capacity(0, end) * float64(second) / float64(c.work); float64(c.recentAnswers) < least {
+		t.Errorf("%d served in the last second of 6, want %.0f", c.recentAnswers, least)
 	}
 }
 
-// A sidecar with three requests a second beside one with four hundred, at the same endpoints: three of twelve fail all for ten
-// seconds. The quiet one meets them more often before it knows, but what either is asked is served, and neither at the
-// other's cost.
+// A sidecar with three requests a second beside one with four hundred, at the same endpoints: three of twelve fail
+// all for ten seconds. The quiet one meets them more often before it knows, but what either is asked is served, and
+// neither at the other's cost.
 func TestQuietBesideBusy(t *testing.T) {
 	s := testSettings()
 	s.Prices.Probe = probeBudget * calmProbeShare / 0.05
-	c := newCrowd(t, s, []float64{3, 400}, 35_000)
-	c.can = func(e uint32, at monotime.Micros) float64 {
+	c := newSimFleet(t, s, []float64{3, 400}, 35_000)
+	c.capacity = func(e uint32, at monotime.Micros) float64 {
 		if e <= 3 && at > 10*second && at < 20*second {
 			return 0
 		}
 		return assumedCores
 	}
-	for _, b := range c.fleet {
+	for _, b := range c.balancers {
 		b.UpdateEndpoints(0, ListFull, readyEndpoints(12))
 	}
-	c.play(0, 40*second)
-	quiet, busy := float64(c.served[0])/float64(c.asked[0]), float64(c.served[1])/float64(c.asked[1])
+	c.run(0, 40*second)
+	quiet, busy := float64(c.onTime[0])/float64(c.requests[0]), float64(c.onTime[1])/float64(c.requests[1])
 	if quiet < 0.95 || busy < 0.97 {
-		t.Errorf("the quiet one got %.3f of %d served, the busy one %.3f of %d; want 0.95 and 0.97", quiet, c.asked[0], busy, c.asked[1])
+		t.Errorf("the quiet one got %.3f of %d served, the busy one %.3f of %d; want 0.95 and 0.97", quiet,
+			c.requests[0], busy, c.requests[1])
 	}
 	bad := 0
 	for e := uint32(1); e <= 3; e++ {
@@ -572,7 +627,8 @@
 	}
 }
 
-// One balancer whose endpoints all come up at once serves in the first second, however wrong its first guess of their work is.
+// One balancer whose endpoints all come up at once serves in the first second, however wrong its first guess of their
+// work is.
 func TestSingleBalancerWithAllEndpointsWarming(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1
--- a/balancer/golden_test.go
+++ b/balancer/golden_test.go
@@ -15,7 +15,8 @@
 func filledLearned() *LearnedState {
 	return &LearnedState{
 		Classes: []LearnedClass{
-			{MeanWork: Average{Value: 5000.5, Samples: 1e9}, RequestRate: 20.25, OnTimeRatio: Average{Value: 0.75, Samples: 12}},
+			{MeanWork: Average{Value: 5000.5, Samples: 1e9}, RequestRate: 20.25,
+				OnTimeRatio: Average{Value: 0.75, Samples: 12}},
 			{MeanWork: Average{Value: 800, Samples: 3}, RequestRate: 0.5, OnTimeRatio: Average{Value: 1, Samples: 1e9}},
 		},
 		Endpoints: []LearnedEndpoint{
@@ -23,16 +24,21 @@
 				ID: 7, StartTime: 1_700_000_000_000_000, RTT: Average{Value: 400, Samples: 9},
 				ServiceTimeRatio: Average{Value: 1.25, Samples: 1e9}, ServiceTimeAge: 12_345,
 				WarmingUp: true, WarmupAge: 2_000_000, WarmupTokens: 3.5, ServedTokens: 0.25,
-				Outlier:      LearnedOutlier{ConsecutiveFailures: 4, EjectedFor: 900_000, EjectionTime: 2_000_000, TrialPending: true},
-				PartOutliers: []LearnedOutlier{{ConsecutiveFailures: 1}, {EjectedFor: 2}, {EjectionTime: 3}, {TrialPending: true}},
-				BaseLatency:  1500.5, CurrentLatency: 1700.25, BreakerWindow: [][3]int{{9, 7, 2}, {0, 0, 0}, {1, 1, 0}},
+				Outlier: LearnedOutlier{ConsecutiveFailures: 4, EjectedFor: 900_000, EjectionTime: 2_000_000,
+					TrialPending: true},
+				PartOutliers: []LearnedOutlier{{ConsecutiveFailures: 1}, {EjectedFor: 2}, {EjectionTime: 3},
+					{TrialPending: true}},
+				BaseLatency: 1500.5, CurrentLatency: 1700.25, BreakerWindow: [][3]int{{9, 7, 2}, {0, 0, 0}, {1, 1, 0}},
 			},
 			{ID: 8},
 		},
 		RequestRate: 120.5, SentWorkRate: 90_000, RejectedRatio: 0.125,
-		MeanWork: Average{Value: 4000, Samples: 100}, FleetServiceTimeRatio: Average{Value: 1.5, Samples: 101}, LatencyTrend: 1.0625, HintTrust: 0.5,
-		LateReportRatio: Average{Value: 0.0625, Samples: 102}, TypicalLoad: Average{Value: 2.5, Samples: 103}, ServiceTime: Average{Value: 3500, Samples: 104},
-		TypicalWarmingLoad: Average{Value: 0.25, Samples: 105}, ReportsLate: true, ReportWatchTime: 5e6, ReportChanges: 21, TenantRates: []float64{60, 60.5},
+		MeanWork: Average{Value: 4000, Samples: 100}, FleetServiceTimeRatio: Average{Value: 1.5,
+			Samples: 101}, LatencyTrend: 1.0625, HintTrust: 0.5,
+		LateReportRatio: Average{Value: 0.0625, Samples: 102}, TypicalLoad: Average{Value: 2.5,
+			Samples: 103}, ServiceTime: Average{Value: 3500, Samples: 104},
+		TypicalWarmingLoad: Average{Value: 0.25,
+			Samples: 105}, ReportsLate: true, ReportWatchTime: 5e6, ReportChanges: 21, TenantRates: []float64{60, 60.5},
 	}
 }
 
@@ -81,7 +87,9 @@
 		}
 	}
 	l := filledLearned()
-	l.Endpoints[0].PartOutliers[0] = LearnedOutlier{ConsecutiveFailures: 1, EjectedFor: 2, EjectionTime: 3, TrialPending: true} // spread over four there
+	// spread over four there
+	l.Endpoints[0].PartOutliers[0] = LearnedOutlier{ConsecutiveFailures: 1, EjectedFor: 2, EjectionTime: 3,
+		TrialPending: true}
 	check("Learned", reflect.ValueOf(*l))
 }
 
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"dunlinsail/internal/monotime"
@@ -12,11 +13,16 @@
 	return Settings{
 		Balancers: 2, ZoneCount: 1, MachineKinds: 1, Tick: 5000,
 		Classes: []Class{
-			{Name: "read", Idempotency: Idempotent, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-all", Idempotency: IdempotentByKey, DedupScope: DedupAll, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-zone", Idempotency: IdempotentByKey, DedupScope: DedupZone, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-cell", Idempotency: IdempotentByKey, DedupScope: DedupCell, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "write", Idempotency: NonIdempotent, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
+			{Name: "read", Idempotency: Idempotent, LatencyObjective: 400_000, ClientTimeout: second,
+				PriorityWeight: 1},
+			{Name: "keyed-all", Idempotency: IdempotentByKey, DedupScope: DedupAll, DedupWindow: 500_000,
+				LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
+			{Name: "keyed-zone", Idempotency: IdempotentByKey, DedupScope: DedupZone, DedupWindow: 500_000,
+				LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
+			{Name: "keyed-cell", Idempotency: IdempotentByKey, DedupScope: DedupCell, DedupWindow: 500_000,
+				LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
+			{Name: "write", Idempotency: NonIdempotent, LatencyObjective: 400_000, ClientTimeout: second,
+				PriorityWeight: 1},
 		},
 		LoadMetrics: []LoadMetric{MetricInflight},
 		Limits: Limits{Cancel: true, Probes: true, Hedging: true, RetryAfter: true,
@@ -56,9 +62,11 @@
 func (r *recorder) SetTimer(delay monotime.Micros, token uint32) {
 	r.timers, r.delays = append(r.timers, token), append(r.delays, delay)
 }
-func (r *recorder) Probe(e uint32)  { r.probes = append(r.probes, e) }
-func (r *recorder) Watch(bool)      { r.watches++ }
-func (r *recorder) Log(line string) { r.logs = append(r.logs, line) }
+func (r *recorder) Probe(e uint32) { r.probes = append(r.probes, e) }
+func (r *recorder) Watch(bool)     { r.watches++ }
+func (r *recorder) Log(message string, args ...any) {
+	r.logs = append(r.logs, fmt.Sprintln(append([]any{message}, args...)...))
+}
 
 // ready returns n ready endpoints with ids from 1; pairs share a cell and a zone.
 func readyEndpoints(n int) []Endpoint {
@@ -92,9 +100,9 @@
 	}{
 		{"Balancers", func(s *Settings) { s.Balancers = 0 }},
 		{"Classes", func(s *Settings) { s.Classes = nil }},
-		{"Classes[0].Aim", func(s *Settings) { s.Classes[0].LatencyObjective = 0 }},
-		{"Classes[1].Window", func(s *Settings) { s.Classes[1].DedupWindow = -1 }},
-		{"Contract.ColdFrom", func(s *Settings) { s.Contract.WarmupStartCapacity = 0 }},
+		{"Classes[0].LatencyObjective", func(s *Settings) { s.Classes[0].LatencyObjective = 0 }},
+		{"Classes[1].DedupWindow", func(s *Settings) { s.Classes[1].DedupWindow = -1 }},
+		{"Contract.WarmupStartCapacity", func(s *Settings) { s.Contract.WarmupStartCapacity = 0 }},
 		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
 		{"Prices.Probe", func(s *Settings) { s.Prices.Probe = -1 }},
 	} {
--- a/balancer/hold_test.go
+++ b/balancer/hold_test.go
@@ -40,7 +40,7 @@
 		}
 		b.HandleTimer(second+r.delays[i], r.timers[i])
 		if len(r.sends)+len(r.rejected) != 1 {
-			t.Errorf("%d left: sends %v, refused %v", left, r.sends, r.rejected)
+			t.Errorf("%d left: sends %v, rejected %v", left, r.sends, r.rejected)
 		}
 		// Answers of the old round come late; they must not release the next one early.
 		old := r.probes
@@ -105,7 +105,7 @@
 	}
 }
 
-// With a thousand balancers at a cold endpoint, each alone saves too slowly for one request; their sum must
+// With a thousand balancers at a warming endpoint, each alone saves too slowly for one request; their sum must
 // still come near what the endpoint can do, and never near what pushes it over.
 func TestWarmupCapacityOfManyQuietBalancers(t *testing.T) {
 	s := testSettings()
@@ -137,7 +137,7 @@
 	// At work 40 ms the fleet has 32 core-seconds a second to do: 0.78 for each endpoint.
 	fair := balancers * perSecond * work / endpoints
 	if share := sent / fair; share < 0.05 || share > 0.5 {
-		t.Errorf("the cold endpoint was sent %.2f of a warm one's work in its first second, at warmth 0.2", share)
+		t.Errorf("the warming endpoint was sent %.2f of a warm one's work in its first second, at 0.2 of its capacity", share)
 	}
 }
 
@@ -157,7 +157,7 @@
 	e := b.endpointsByID[2]
 	e.warmupTokens, e.warmupRefilledAt = 0, 10*second
 	b.hasWarmupCapacity(10*second+second/10, e, 1)
-	// Its part by warmth is 0.2/(1+9*0.2) of 4 core-seconds a second.
+	// Its part by capacity fraction is 0.2/(1+9*0.2) of 4 core-seconds a second.
 	if most := 0.2 / 2.8 * 4 * float64(second) / 10 * 1.1; e.warmupTokens > most {
 		t.Errorf("room for %.0f us of work after 0.1 s, %.0f at most", e.warmupTokens, most)
 	}
@@ -184,7 +184,7 @@
 }
 
 // Where much of a request's time is waiting for others, requests held side by side slow each other little: taken
-// for crowding, that refused requests on quiet days.
+// for crowding, that rejected requests on quiet days.
 func TestReportedServiceTimeSetsCoreFraction(t *testing.T) {
 	s := testSettings()
 	s.LoadMetrics = []LoadMetric{MetricLatency, MetricInflight}
@@ -212,7 +212,8 @@
 		now := second + 10_000*monotime.Micros(id)
 		b.HandleRequest(now, newTestRequest(id, 0, now))
 		for i := 0; b.requests[id] != nil; i++ {
-			b.HandleOutcome(now, Outcome{ID: id, Attempt: i, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: Rejected})
+			b.HandleOutcome(now, Outcome{ID: id, Attempt: i, Endpoint: r.sends[len(r.sends)-1].endpoint,
+				Status: Rejected})
 		}
 	}
 	if retries := len(r.sends) - requests; float64(retries) > retryBurst+DefaultRetryRatio*requests+1 {
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// taught returns a balancer that has seen a mixed minute: slow, failing and cold endpoints among others.
+// taught returns a balancer that has seen a mixed minute: slow, failing and warming endpoints among others.
 func trainedBalancer(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder, monotime.Micros) {
 	t.Helper()
 	b, r := startBalancer(t, s, list)
@@ -75,111 +75,146 @@
 	next.Start(now + shift)
 	next.UpdateEndpoints(now+shift, ListCached, list)
 	next.Restore(now+shift, 0, &l)
-	out := 0
+	ejected := 0
 	for id, a := range old.endpointsByID {
 		b := next.endpointsByID[id]
-		if x, y := old.predictLatency(now, a, 5000), next.predictLatency(now+shift, b, 5000); a.inflight == 0 && !b.hasReport && !old.reportsLate &&
-			math.Abs(x/y-1) > 0.5 {
-			t.Errorf("endpoint %d: %v expected by the old one, %v by the new", id, x, y)
-		}
-		if x, y := a.currentServiceTimeRatio(now, old), b.currentServiceTimeRatio(now+shift, next); !near(x, y) {
-			t.Errorf("endpoint %d: pace %v, then %v", id, x, y)
-		}
-		a.breaker.advance(now)
-		b.breaker.advance(now + shift)
-		if x, y := a.breaker, b.breaker; x.requests != y.requests || x.accepts != y.accepts || x.baseLatency != y.baseLatency || id < 6 && x.requests == 0 {
-			t.Errorf("endpoint %d: breaker %d of %d, base %v; then %d of %d, base %v", id, x.accepts, x.requests, x.baseLatency,
-				y.accepts, y.requests, y.baseLatency)
-		}
+		requireSamePredictions(t, old, a, now, next, b, now+shift)
+		requireSameBreaker(t, a, now, b, now+shift)
 		for class := range uint8(5) {
 			r := &request{Request: Request{Class: class, Tenant: 1}}
 			if x, y := old.isEjectedFor(now, a, r), next.isEjectedFor(now+shift, b, r); x != y {
 				t.Errorf("endpoint %d, class %d: ejected %v, then %v", id, class, x, y)
 			} else if x {
-				out++
+				ejected++
 			}
 		}
-		if a.warmingUp(now, old) != b.warmingUp(now+shift, next) || !near(a.capacityFraction(now, old), b.capacityFraction(now+shift, next)) {
-			t.Errorf("endpoint %d: warmth %v, then %v", id, a.capacityFraction(now, old), b.capacityFraction(now+shift, next))
-		}
 	}
-	if out == 0 || !old.endpointsByID[6].warmingUp(now, old) {
-		t.Errorf("nothing was learned that could have been lost: %d ejected, cold %v", out, old.endpointsByID[6].warmingUp(now, old))
+	if ejected == 0 || !old.endpointsByID[6].warmingUp(now, old) {
+		t.Errorf("nothing was learned that could have been lost: %d ejected, warming up %v", ejected,
+			old.endpointsByID[6].warmingUp(now, old))
 	}
 	if !near(old.requestRate.rate(now), next.requestRate.rate(now+shift)) || old.latencyTrend != next.latencyTrend {
-		t.Errorf("demand %v, then %v; trend %v, then %v", old.requestRate.rate(now), next.requestRate.rate(now+shift), old.latencyTrend, next.latencyTrend)
+		t.Errorf("demand %v, then %v; trend %v, then %v", old.requestRate.rate(now), next.requestRate.rate(now+shift),
+			old.latencyTrend, next.latencyTrend)
 	}
 	again := next.LearnedState(now + shift)
 	again.Endpoints, l.Endpoints = nil, nil
 	again.Classes, l.Classes = nil, nil
-	if a, b := *again, l; math.Abs(a.RequestRate-b.RequestRate) > 1e-6 || !reflect.DeepEqual(a.LateReportRatio, b.LateReportRatio) {
+	if a, b := *again, l; math.Abs(a.RequestRate-b.RequestRate) > 1e-6 ||
+		!reflect.DeepEqual(a.LateReportRatio, b.LateReportRatio) {
 		t.Errorf("told on: %+v, was %+v", a, b)
 	}
 }
 
-// The account of a cold endpoint goes over whole: the old balancer sends it nothing more, and what both have sent
-// together stays within what one alone might have.
-func TestWarmingEndpointIsHandedOver(t *testing.T) {
+// requireSamePredictions compares what two balancers expect of an endpoint, each at its own time.
+func requireSamePredictions(t *testing.T, old *Balancer, a *endpoint, now monotime.Micros, next *Balancer, b *endpoint,
+	then monotime.Micros) {
+	t.Helper()
+	x, y := old.predictLatency(now, a, 5000), next.predictLatency(then, b, 5000)
+	if a.inflight == 0 && !b.hasReport && !old.reportsLate && math.Abs(x/y-1) > 0.5 {
+		t.Errorf("endpoint %d: %v expected by the old one, %v by the new", a.ID, x, y)
+	}
+	if x, y := a.currentServiceTimeRatio(now, old), b.currentServiceTimeRatio(then, next); !near(x, y) {
+		t.Errorf("endpoint %d: service time ratio %v, then %v", a.ID, x, y)
+	}
+	if x, y := a.capacityFraction(now, old), b.capacityFraction(then, next); !near(x, y) ||
+		a.warmingUp(now, old) != b.warmingUp(then, next) {
+		t.Errorf("endpoint %d: capacity fraction %v, then %v", a.ID, x, y)
+	}
+}
+
+func requireSameBreaker(t *testing.T, a *endpoint, now monotime.Micros, b *endpoint, then monotime.Micros) {
+	t.Helper()
+	a.breaker.advance(now)
+	b.breaker.advance(then)
+	if x, y := a.breaker, b.breaker; x.requests != y.requests || x.accepts != y.accepts ||
+		x.baseLatency != y.baseLatency || a.ID < 6 && x.requests == 0 {
+		t.Errorf("endpoint %d: breaker %d of %d, base %v; then %d of %d, base %v", a.ID, x.accepts, x.requests,
+			x.baseLatency, y.accepts, y.requests, y.baseLatency)
+	}
+}
+
+// handOverHost drives balancers with requests against four warm endpoints and a warming one.
+type handOverHost struct {
+	t       *testing.T
+	now     monotime.Micros
+	lastID  uint64
+	warming Endpoint
+	sent    int // requests to the warming endpoint
+}
+
+func (h *handOverHost) settings() Settings {
 	s := testSettings()
 	s.Limits.Probes = false
-	play := func(handOver bool) (sent int) {
-		list := readyEndpoints(4)
-		b, r := startBalancer(t, s, list)
-		cold := Endpoint{ID: 9, Zone: 0, Cell: 9, Share: 1, StartTime: 1}
-		now := monotime.Micros(1)
-		b.UpdateEndpoints(now, ListDelta, []Endpoint{cold})
-		var old *Balancer
-		var oldR *recorder
-		id := uint64(0)
-		ask := func(b *Balancer, r *recorder) {
-			id++
-			b.HandleRequest(now, newTestRequest(id, 0, now))
-			if n := len(r.sends) - 1; n >= 0 && r.sends[n].id == id {
-				if r.sends[n].endpoint == 9 {
-					sent++
-				}
-				b.HandleOutcome(now+900, Outcome{ID: id, Endpoint: r.sends[n].endpoint, Status: OK, Latency: 2000, Answered: true})
-			}
-		}
-		for i := range 3000 {
-			now += 1000
-			if i == 1500 && handOver {
-				l := b.LearnedState(now)
-				b.SetHandedOver(now, true)
-				old, oldR = b, r
-				b, r = startBalancer(t, s, list)
-				b.UpdateEndpoints(now, ListCached, append(readyEndpoints(4), cold))
-				b.Restore(now, 0, l)
-			}
-			ask(b, r)
-			if old != nil { // it has as much to do as before, for a while
-				ask(old, oldR)
+	return s
+}
+
+// requests lets a millisecond pass and gives each balancer a request, which is answered.
+func (h *handOverHost) requests(balancers ...*Balancer) {
+	h.now += 1000
+	for _, b := range balancers {
+		r := b.actions.(*recorder)
+		h.lastID++
+		b.HandleRequest(h.now, newTestRequest(h.lastID, 0, h.now))
+		if n := len(r.sends) - 1; n >= 0 && r.sends[n].id == h.lastID {
+			if r.sends[n].endpoint == h.warming.ID {
+				h.sent++
 			}
+			b.HandleOutcome(h.now+900, Outcome{ID: h.lastID, Endpoint: r.sends[n].endpoint, Status: OK, Latency: 2000,
+				Answered: true})
 		}
-		if old != nil {
-			before := sent
-			for range 500 {
-				now += 1000
-				ask(old, oldR)
-			}
-			if sent != before {
-				t.Errorf("the old balancer sent the cold endpoint %d requests after it had handed over", sent-before)
-			}
-			old.SetHandedOver(now, false)
-			for range 3000 {
-				now += 1000
-				ask(old, oldR)
-			}
-			if sent == before {
-				t.Error("after it took over again it sends the endpoint nothing")
-			}
-			sent = before
+	}
+}
+
+// run sends 3000 requests, of which the second half is handed over to another balancer, and returns how many went to
+// the warming endpoint. The old balancer has as much to do as before for a while.
+func (h *handOverHost) run(handOver bool) int {
+	h.t.Helper()
+	b, _ := startBalancer(h.t, h.settings(), readyEndpoints(4))
+	h.warming = Endpoint{ID: 9, Zone: 0, Cell: 9, Share: 1, StartTime: 1}
+	h.now = 1
+	b.UpdateEndpoints(h.now, ListDelta, []Endpoint{h.warming})
+	for range 1500 {
+		h.requests(b)
+	}
+	if !handOver {
+		for range 1500 {
+			h.requests(b)
 		}
-		return sent
+		return h.sent
+	}
+	learned := b.LearnedState(h.now + 1000)
+	b.SetHandedOver(h.now+1000, true)
+	next, _ := startBalancer(h.t, h.settings(), readyEndpoints(4))
+	next.UpdateEndpoints(h.now+1000, ListCached, append(readyEndpoints(4), h.warming))
+	next.Restore(h.now+1000, 0, learned)
+	for range 1500 {
+		h.requests(next, b)
+	}
+	both := h.sent
+	for range 500 {
+		h.requests(b)
+	}
+	if h.sent != both {
+		h.t.Errorf("the old balancer sent the warming endpoint %d requests after it had handed over", h.sent-both)
+	}
+	b.SetHandedOver(h.now, false)
+	for range 3000 {
+		h.requests(b)
 	}
-	alone, both := play(false), play(true)
+	if h.sent == both {
+		h.t.Error("after it took over again it sends the endpoint nothing")
+	}
+	return both
+}
+
+// The buckets of a warming endpoint are handed over: the old balancer sends it nothing more, and what both have sent
+// together stays within what one alone might have.
+func TestWarmingEndpointIsHandedOver(t *testing.T) {
+	alone := (&handOverHost{t: t}).run(false)
+	both := (&handOverHost{t: t}).run(true)
 	if both > alone*5/4+2 {
-		t.Errorf("a cold endpoint got %d requests across a handover, %d without", both, alone)
+		t.Errorf("a warming endpoint got %d requests across a handover, %d without", both, alone)
 	}
 }
 
@@ -191,7 +226,8 @@
 	next, _ := startBalancer(t, s, readyEndpoints(6))
 	next.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Zone: 1, Cell: 1, StartTime: now - 1}})
 	next.Restore(now, 0, l)
-	if e := next.endpointsByID[3]; e.breaker.requests != 0 || e.outlier.consecutiveFailures != 0 || !e.warmingUp(now, next) {
+	if e := next.endpointsByID[3]; e.breaker.requests != 0 || e.outliers[allTraffic].consecutiveFailures != 0 ||
+		!e.warmingUp(now, next) {
 		t.Errorf("%+v", e)
 	}
 }
@@ -207,13 +243,16 @@
 	}
 	for range 300 {
 		avg := func() Average { return Average{odd(), odd()} }
-		l := &LearnedState{RequestRate: odd(), SentWorkRate: odd(), RejectedRatio: odd(), MeanWork: Average{5000, 1}, FleetServiceTimeRatio: avg(), LatencyTrend: odd(), HintTrust: odd(),
-			LateReportRatio: avg(), TypicalLoad: avg(), ServiceTime: avg(), ReportWatchTime: odd(), ReportChanges: odd(), TenantRates: []float64{odd(), odd()}}
+		l := &LearnedState{RequestRate: odd(), SentWorkRate: odd(), RejectedRatio: odd(), MeanWork: Average{5000, 1},
+			FleetServiceTimeRatio: avg(), LatencyTrend: odd(), HintTrust: odd(),
+			LateReportRatio: avg(), TypicalLoad: avg(), ServiceTime: avg(), ReportWatchTime: odd(), ReportChanges: odd(),
+			TenantRates: []float64{odd(), odd()}}
 		for range rng.IntN(7) {
 			l.Classes = append(l.Classes, LearnedClass{avg(), odd(), avg()})
 		}
 		for id := range uint32(8) {
-			e := LearnedEndpoint{ID: id, RTT: avg(), ServiceTimeRatio: avg(), ServiceTimeAge: oddM(), WarmingUp: rng.IntN(2) == 0, WarmupAge: oddM(), WarmupTokens: odd(),
+			e := LearnedEndpoint{ID: id, RTT: avg(), ServiceTimeRatio: avg(), ServiceTimeAge: oddM(),
+				WarmingUp: rng.IntN(2) == 0, WarmupAge: oddM(), WarmupTokens: odd(),
 				Outlier: LearnedOutlier{int(oddM()), oddM(), oddM(), true}, BaseLatency: odd(), CurrentLatency: odd()}
 			for range rng.IntN(9) {
 				e.PartOutliers = append(e.PartOutliers, LearnedOutlier{int(oddM()), oddM(), oddM(), false})
@@ -230,7 +269,8 @@
 			b.HandleRequest(now, newTestRequest(id, uint8(id%5), now))
 			for _, s := range r.sends {
 				if s.id == id {
-					b.HandleOutcome(now+1000, Outcome{ID: id, Endpoint: s.endpoint, Status: OK, Latency: 1000, Answered: true})
+					b.HandleOutcome(now+1000, Outcome{ID: id, Endpoint: s.endpoint, Status: OK, Latency: 1000,
+						Answered: true})
 				}
 			}
 		}
@@ -241,7 +281,7 @@
 }
 
 // A change that is told before the list that another balancer held must not make endpoints of that list look as if they
-// had just come up: all of them cold, the first seconds after a handover would be refused.
+// had just come up: all of them cold, the first seconds after a handover would be rejected.
 func TestEndpointsOfCachedListAreNotNew(t *testing.T) {
 	s := testSettings()
 	s.Subscribe = false
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -66,7 +66,8 @@
 	seen := map[uint32]bool{}
 	for id := range uint64(20) {
 		b.HandleRequest(now, newTestRequest(id, 0, now))
-		b.HandleOutcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK, Latency: 1000, Answered: true})
+		b.HandleOutcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK, Latency: 1000,
+			Answered: true})
 		seen[r.sends[len(r.sends)-1].endpoint] = true
 	}
 	if len(seen) != 2 {
@@ -119,7 +120,7 @@
 	}
 }
 
-// A wrong guess of a class's work must not refuse that class for ever.
+// A wrong guess of a class's work must not reject that class for ever.
 func TestLatencyRejectionAdmitsOnePerInterval(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
 	b.classes[0].meanWork.value = float64(100 * second)
@@ -131,12 +132,12 @@
 		t.Errorf("%d of 30 sent in three seconds, about one a second wanted", n)
 	}
 	if len(r.rejected) != 30-len(r.sends) {
-		t.Errorf("%d refused, %d sent", len(r.rejected), len(r.sends))
+		t.Errorf("%d rejected, %d sent", len(r.rejected), len(r.sends))
 	}
 }
 
-// Where no probe tells loads, only answers show that a jam is over. While a hundred a second are refused, one that passes each
-// second would leave a balancer refusing for minutes what all endpoints could serve.
+// Where no probe tells loads, only answers show that a jam is over. While a hundred a second are rejected, one that
+// passes each second would leave a balancer rejecting for minutes what all endpoints could serve.
 func TestRejectionEndsSoonAfterCongestion(t *testing.T) {
 	for name, s := range map[string]func(*Settings){
 		"no probes":  func(s *Settings) { s.Limits.Probes = false },
@@ -152,7 +153,7 @@
 			took monotime.Micros
 		}
 		var owed []due
-		refused := map[bool]int{} // in the jam, and from 5 s after it on
+		rejected := map[bool]int{} // in the jam, and from 5 s after it on
 		const jam, calm, end = 10 * second, 15 * second, 25 * second
 		id := uint64(0)
 		for now := monotime.Micros(0); now < end; now += 10_000 {
@@ -173,17 +174,17 @@
 			if len(out.rejected) > no {
 				switch {
 				case now < jam:
-					refused[true]++
+					rejected[true]++
 				case now >= calm:
-					refused[false]++
+					rejected[false]++
 				}
 			}
 		}
-		if refused[true] < 100 {
-			t.Errorf("%s: %d refused in a jam of 5 s, the test shows nothing", name, refused[true])
+		if rejected[true] < 100 {
+			t.Errorf("%s: %d rejected in a jam of 5 s, the test shows nothing", name, rejected[true])
 		}
-		if refused[false] > 50 {
-			t.Errorf("%s: %d of 1000 refused from 5 s after the jam on", name, refused[false])
+		if rejected[false] > 50 {
+			t.Errorf("%s: %d of 1000 rejected from 5 s after the jam on", name, rejected[false])
 		}
 	}
 }
@@ -261,7 +262,7 @@
 	}
 }
 
-// While reports are late, averages decide; they must not refuse what an
+// While reports are late, averages decide; they must not reject what an
 // endpoint that they cannot show would serve.
 func TestLateReportsAllowTheFullObjective(t *testing.T) {
 	b, _ := startBalancer(t, testSettings(), readyEndpoints(1))
@@ -269,22 +270,23 @@
 	b.classes[0].requestRate.add(0, 1)
 	before := b.latencyBudget(0, r, b.endpoints[0])
 	b.reportsLate = true
-	if after := b.latencyBudget(0, r, b.endpoints[0]); after <= before || after != float64(b.settings.Classes[0].LatencyObjective) {
+	if after := b.latencyBudget(0, r, b.endpoints[0]); after <= before ||
+		after != float64(b.settings.Classes[0].LatencyObjective) {
 		t.Errorf("limit %v before, %v while late", before, after)
 	}
 }
 
-// What a cold endpoint can do grows with its warmth, and so must what is
+// What a warming endpoint can do grows with its capacity fraction, and so must what is
 // expected of it, also once its pace has been learned.
 func TestWarmingEndpointIsExpectedToBeSlow(t *testing.T) {
 	b, _ := startBalancer(t, testSettings(), readyEndpoints(2))
 	b.UpdateEndpoints(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
 	e := b.endpointsByID[9]
-	if got := e.currentServiceTimeRatio(1000, b); !near(got, 5) { // warmth 0.2
+	if got := e.currentServiceTimeRatio(1000, b); !near(got, 5) { // capacity fraction 0.2
 		t.Errorf("pace %v just started", got)
 	}
 	e.serviceTimeRatio, e.serviceTimeObservedAt = ewma{value: 2, samples: manySamples}, 6*second
-	if got := e.currentServiceTimeRatio(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
+	if got := e.currentServiceTimeRatio(6*second, b); got < 2.9 || got > 3 { // capacity fraction 0.68
 		t.Errorf("pace %v half way", got)
 	}
 	if got := e.currentServiceTimeRatio(12*second, b); got > 2 {
@@ -307,7 +309,8 @@
 		if wait := r.timeouts[id]; wait != 0 && wait < s.Classes[0].LatencyObjective/minTimeoutDivisor {
 			t.Fatalf("attempt %d is waited for %d us only", id, wait)
 		}
-		b.HandleOutcome(now+200, Outcome{ID: id, Endpoint: r.sends[id].endpoint, Status: OK, Latency: 200, Answered: true})
+		b.HandleOutcome(now+200, Outcome{ID: id, Endpoint: r.sends[id].endpoint, Status: OK, Latency: 200,
+			Answered: true})
 	}
 	if r.timeouts[2999] == 0 {
 		t.Error("attempts of a safe class are waited for without end")
@@ -351,7 +354,7 @@
 			b.HandleProbe(now, 1, OK, 500, []float32{9}) // the others serve
 			b.HandleRequest(now, Request{ID: id, Deadline: now + second, WorkHint: 10_000, HasWorkHint: true})
 			if len(r.sends) == 0 || r.sends[len(r.sends)-1].id != id {
-				continue // refused
+				continue // rejected
 			}
 			latency := monotime.Micros(times * b.requests[id].attempts[0].expectedLatency)
 			b.HandleOutcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK,
@@ -369,14 +372,14 @@
 	if slow := one(120_000); slow < 2*before {
 		t.Errorf("expected %v before, %v after 15 outcomes of four times the prediction", before, slow)
 	}
-	// While all is refused only the forced passes, one a second, tell of the recovery.
+	// While all is rejected only the forced passes, one a second, tell of the recovery.
 	serve(200_000, second/2, 80, 0.5)
 	if after := one(41 * second); after > 1.2*before {
 		t.Errorf("expected %v before, %v after the recovery", before, after)
 	}
 }
 
-// A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
+// A hint must count for as much as it tells, or idle endpoints reject what is only said to be large.
 func TestHintTrustIsLearned(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -403,7 +406,7 @@
 	}
 }
 
-// A balancer that refuses everything must still learn when it may stop, and one that refuses nothing needs few probes.
+// A balancer that rejects everything must still learn when it may stop, and one that rejects nothing needs few probes.
 func TestProbesContinueWhileAllIsRejected(t *testing.T) {
 	s := testSettings()
 	s.Prices.Probe = probeBudget // one probe a request
@@ -413,11 +416,13 @@
 	}
 	now := 5 * second
 	all := b.requestRate.rate(now)
-	for _, c := range []struct{ refused, want float64 }{{0, calmProbeShare}, {fullProbeRejectedRatio / 2, (1 - fullProbeRejectedRatio/2) * (1 + calmProbeShare) / 2},
-		{fullProbeRejectedRatio, 1 - fullProbeRejectedRatio}, {0.5, 0.5}, {0.9, minFirstAttemptRatio}, {1, minFirstAttemptRatio}} {
-		b.rejectedRatio.value = c.refused
+	for _, c := range []struct{ rejected, want float64 }{{0, calmProbeShare},
+		{fullProbeRejectedRatio / 2, (1 - fullProbeRejectedRatio/2) * (1 + calmProbeShare) / 2},
+		{fullProbeRejectedRatio, 1 - fullProbeRejectedRatio}, {0.5, 0.5}, {0.9, minFirstAttemptRatio}, {1,
+			minFirstAttemptRatio}} {
+		b.rejectedRatio.value = c.rejected
 		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
-			t.Errorf("refused %v: %v of the pace, want %v", c.refused, got, c.want)
+			t.Errorf("rejected %v: %v of the pace, want %v", c.rejected, got, c.want)
 		}
 	}
 }
--- a/balancer/retries_test.go
+++ b/balancer/retries_test.go
@@ -10,7 +10,8 @@
 func errs(b *Balancer, r *recorder, id uint64) int {
 	first := len(r.sends)
 	for i := first - 1; i < len(r.sends); i++ {
-		b.HandleOutcome(1000, Outcome{ID: id, Attempt: i - first + 1, Endpoint: r.sends[i].endpoint, Status: Error, Latency: 100})
+		b.HandleOutcome(1000, Outcome{ID: id, Attempt: i - first + 1, Endpoint: r.sends[i].endpoint, Status: Error,
+			Latency: 100})
 	}
 	return len(r.sends) - first + 1
 }
@@ -49,13 +50,14 @@
 	}
 }
 
-// A budget that saves nothing up holds from the first request on and over any second in which requests come evenly, after a
-// quiet minute too. A quiet balancer has the least that is stated, and no more.
+// A budget that saves nothing up holds from the first request on and over any second in which requests come evenly,
+// after a quiet minute too. A quiet balancer has the least that is stated, and no more.
 func TestRetryRatioOverAWindow(t *testing.T) {
 	for _, c := range []struct {
 		rate, share, least float64
 		least1, most1      float64 // further tries in any second
-	}{{1000, 0.1, 0, 70, 100}, {1000, 0.1, 20, 70, 100}, {20, 0.1, 0, 1, 2}, {2, 0.1, 1, 1, 1}, {2, 0.1, 0, 0, 0}, {2, 0.1, 3, 2, 3}} {
+	}{{1000, 0.1, 0, 70, 100}, {1000, 0.1, 20, 70, 100}, {20, 0.1, 0, 1, 2}, {2, 0.1, 1, 1, 1}, {2, 0.1, 0, 0, 0}, {2,
+		0.1, 3, 2, 3}} {
 		s := testSettings()
 		s.RetryRatio, s.MinRetryRate, s.RetryWindow = c.share, c.least, second
 		b, r := startBalancer(t, s, readyEndpoints(200))
@@ -70,7 +72,8 @@
 					if i > n {
 						again = append(again, now)
 					}
-					b.HandleOutcome(now, Outcome{ID: id, Attempt: i - n, Endpoint: r.sends[i].endpoint, Status: Error, Latency: 100})
+					b.HandleOutcome(now, Outcome{ID: id, Attempt: i - n, Endpoint: r.sends[i].endpoint, Status: Error,
+						Latency: 100})
 				}
 			}
 		}
@@ -87,7 +90,7 @@
 	}
 }
 
-// With Strict a keyed request that may have run is never refused.
+// With Strict a keyed request that may have run is never rejected.
 func TestStrictIdempotencyKeys(t *testing.T) {
 	for _, strict := range []bool{false, true} {
 		s := testSettings()
@@ -96,11 +99,11 @@
 		b.HandleRequest(0, newTestRequest(1, 1, 0))
 		errs(b, r, 1)
 		if strict != (len(r.failed) == 1) || strict == (len(r.rejected) == 1) {
-			t.Errorf("strict %v: refused %v, failed %v", strict, r.rejected, r.failed)
+			t.Errorf("strict %v: rejected %v, failed %v", strict, r.rejected, r.failed)
 		}
-		b.HandleRequest(0, Request{ID: 2, Class: 1, Deadline: 0}) // never sent: refused all the same
+		b.HandleRequest(0, Request{ID: 2, Class: 1, Deadline: 0}) // never sent: rejected all the same
 		if len(r.rejected) == 0 || r.rejected[len(r.rejected)-1] != 2 {
-			t.Errorf("strict %v: what was never sent is not refused", strict)
+			t.Errorf("strict %v: what was never sent is not rejected", strict)
 		}
 	}
 }
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -16,8 +16,8 @@
 	now          monotime.Micros
 	states       map[uint32]Endpoint
 	cordoned     map[uint32]bool
-	warmingUp    map[uint32]monotime.Micros // endpoint: told start
-	warmingSends map[uint32]float64         // requests sent while cold
+	warmingUp    map[uint32]monotime.Micros // its start, by endpoint
+	warmingSends map[uint32]float64         // requests sent while it warms up, by endpoint
 	requests     map[uint64]*checked        // open and ended
 	faults       []string
 	timers       []pending
@@ -25,10 +25,10 @@
 }
 
 type checked struct {
-	in         Request
-	answered   int
-	clientGone bool // it was told that the request is over
-	attempts   []checkedAttempt
+	in       Request
+	answered int
+	closed   bool // by its answer or by its client
+	attempts []checkedAttempt
 }
 
 type checkedAttempt struct {
@@ -64,7 +64,7 @@
 	}
 	e, known := c.states[endpoint]
 	class := c.settings.Classes[r.in.Class]
-	if r.answered > 0 || r.clientGone {
+	if r.answered > 0 || r.closed {
 		c.fault("send after the end of %d", id)
 	}
 	if !known || e.State != Ready {
@@ -78,7 +78,7 @@
 	}
 	for _, a := range r.attempts {
 		if a.inflight && !c.settings.Limits.Hedging {
-			c.fault("second copy of %d", id)
+			c.fault("hedged attempt of %d", id)
 		}
 	}
 	if b := r.bound(); b != nil && class.Idempotency != Idempotent {
@@ -96,7 +96,7 @@
 
 func (c *checker) final(id uint64) *checked {
 	r := c.requests[id]
-	if r == nil || r.answered > 0 || r.clientGone {
+	if r == nil || r.answered > 0 || r.closed {
 		c.fault("final answer for %d, which is not open", id)
 		return nil
 	}
@@ -108,7 +108,7 @@
 	if r := c.final(id); r != nil && r.bound() != nil {
 		class := c.settings.Classes[r.in.Class]
 		if class.Idempotency == NonIdempotent || class.Idempotency == IdempotentByKey && class.DedupScope != DedupAll {
-			c.fault("refusal of %d (%s), which may have run", id, class.Name)
+			c.fault("rejection of %d (%s), which may have run", id, class.Name)
 		}
 	}
 }
@@ -144,129 +144,156 @@
 	}
 }
 
-func (c *checker) Log(string) {}
+func (c *checker) Log(string, ...any) {}
 
-// play runs legal random events from a seed and returns the faults found.
+// randomRun gives a balancer legal random events, with a checker as its host.
+type randomRun struct {
+	*checker
+	balancer *Balancer
+	random   *rand.Rand
+	list     []Endpoint
+	open     []uint64
+	lastID   uint64
+}
+
+// playRandomEvents runs random events from a seed and returns the faults found.
 func playRandomEvents(t *testing.T, s Settings, seed int64) []string {
 	t.Helper()
-	rnd := rand.New(rand.NewSource(seed))
-	c := &checker{settings: s, now: 1_000_000, states: map[uint32]Endpoint{}, cordoned: map[uint32]bool{}, warmingUp: map[uint32]monotime.Micros{},
-		warmingSends: map[uint32]float64{}, requests: map[uint64]*checked{}}
-	b, err := New(s, uint64(seed), c)
+	x := &randomRun{random: rand.New(rand.NewSource(seed))}
+	x.checker = &checker{settings: s, now: 1_000_000, states: map[uint32]Endpoint{}, cordoned: map[uint32]bool{},
+		warmingUp: map[uint32]monotime.Micros{}, warmingSends: map[uint32]float64{}, requests: map[uint64]*checked{}}
+	var err error
+	x.balancer, err = New(s, uint64(seed), x.checker)
 	if err != nil {
 		t.Fatal(err)
 	}
-	members := func(kind ListKind, entries []Endpoint) {
-		if kind != ListDelta && kind != ListFailed {
-			clear(c.states)
-		}
-		for _, e := range entries {
-			c.states[e.ID] = e
+	x.balancer.Start(x.now)
+	x.list = readyEndpoints(1 + x.random.Intn(6))
+	x.update(ListCached, slices.Clone(x.list))
+	for range 3000 {
+		x.now += monotime.Micros(x.random.Intn(20_000))
+		x.fireTimers(0)
+		x.step()
+	}
+	// All that is still open must be answered by its deadline.
+	for range 400 {
+		x.now += 5000
+		x.fireTimers(firstRequestToken)
+	}
+	for id, r := range x.requests {
+		if r.answered == 0 && !r.closed {
+			x.fault("request %d never got a final answer", id)
 		}
-		b.UpdateEndpoints(c.now, kind, entries)
-		for id := range c.cordoned { // as the host does: the words are its own, and an entry may be new
-			b.SetCordon(c.now, id, true)
+	}
+	return x.faults
+}
+
+// fireTimers calls the timers that are due, of tokens from the given one on.
+func (x *randomRun) fireTimers(from uint32) {
+	for i := 0; i < len(x.timers); {
+		if p := x.timers[i]; p.at <= x.now && p.token >= from {
+			x.timers = slices.Delete(x.timers, i, i+1)
+			x.balancer.HandleTimer(x.now, p.token)
+			continue
 		}
+		i++
 	}
-	b.Start(c.now)
-	list := readyEndpoints(1 + rnd.Intn(6))
-	members(ListCached, slices.Clone(list))
-	var open []uint64
-	next := uint64(1)
+}
+
+func (x *randomRun) status() Status {
 	statuses := []Status{OK, OK, OK, Error, Rejected, Timeout, ConnectFailed, Reset, Cancelled, NotSent}
-	for range 3000 {
-		c.now += monotime.Micros(rnd.Intn(20_000))
-		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.at <= c.now {
-				c.timers = slices.Delete(c.timers, i, i+1)
-				b.HandleTimer(c.now, p.token)
-				continue
-			}
-			i++
+	return statuses[x.random.Intn(len(statuses))]
+}
+
+// step gives the balancer one random event.
+func (x *randomRun) step() {
+	switch n := x.random.Intn(20); {
+	case n < 8:
+		x.lastID++
+		in := Request{ID: x.lastID, Class: uint8(x.random.Intn(len(x.settings.Classes))),
+			Deadline: x.now + monotime.Micros(x.random.Intn(1_000_000)) - 50_000}
+		x.requests[in.ID] = &checked{in: in}
+		x.open = append(x.open, in.ID)
+		x.balancer.HandleRequest(x.now, in)
+	case n < 15 && len(x.open) > 0:
+		x.endAttempt(x.requests[x.open[x.random.Intn(len(x.open))]])
+	case n < 16 && len(x.open) > 0:
+		r := x.requests[x.open[x.random.Intn(len(x.open))]]
+		if r.answered == 0 {
+			r.closed = true
 		}
-		switch n := rnd.Intn(20); {
-		case n < 8:
-			in := Request{ID: next, Class: uint8(rnd.Intn(len(s.Classes))),
-				Deadline: c.now + monotime.Micros(rnd.Intn(1_000_000)) - 50_000}
-			next++
-			c.requests[in.ID] = &checked{in: in}
-			open = append(open, in.ID)
-			b.HandleRequest(c.now, in)
-		case n < 15 && len(open) > 0:
-			at := rnd.Intn(len(open))
-			r := c.requests[open[at]]
-			for i := range r.attempts {
-				a := &r.attempts[i]
-				if !a.inflight {
-					continue
-				}
-				a.inflight = false
-				status := statuses[rnd.Intn(len(statuses))]
-				if status == Rejected || status == ConnectFailed || status == NotSent {
-					a.mayHaveRun = false
-				}
-				if status == OK && r.answered == 0 && !r.clientGone {
-					r.clientGone = true
-				}
-				settled := r.answered > 0 || r.clientGone
-				b.HandleOutcome(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.endpoint.ID, Status: status,
-					Latency: c.now - a.sentAt, Answered: settled})
-				break
-			}
-		case n < 16 && len(open) > 0:
-			r := c.requests[open[rnd.Intn(len(open))]]
-			if r.answered == 0 {
-				r.clientGone = true
-			}
-			b.HandleClientGone(c.now, r.in.ID)
-		case n == 16 && rnd.Intn(3) == 0: // twice out needs one call back
-			id := list[rnd.Intn(len(list))].ID
-			if c.cordoned[id] = true; rnd.Intn(2) == 0 {
-				delete(c.cordoned, id)
-			}
-			b.SetCordon(c.now, id, c.cordoned[id])
-		case n < 18:
-			for _, e := range c.probes {
-				b.HandleProbe(c.now, e, statuses[rnd.Intn(len(statuses))], 500, []float32{float32(rnd.Intn(8))})
-			}
-			c.probes = c.probes[:0]
-		default:
-			e := &list[rnd.Intn(len(list))]
-			e.State = EndpointState(rnd.Intn(3))
-			if rnd.Intn(4) == 0 {
-				e.State, e.StartTime = Ready, c.now-monotime.Micros(rnd.Intn(1_000_000))
-			}
-			if e.State == Ready && rnd.Intn(4) == 0 {
-				e.Zone = uint8(rnd.Intn(3))
-			}
-			switch rnd.Intn(6) {
-			case 0:
-				members(ListFull, slices.Clone(list[:rnd.Intn(len(list)+1)]))
-			case 1:
-				members(ListFailed, nil)
-			default:
-				members(ListDelta, []Endpoint{*e, *e})
-			}
+		x.balancer.HandleClientGone(x.now, r.in.ID)
+	case n == 16 && x.random.Intn(3) == 0: // two cordons are ended by one call
+		id := x.list[x.random.Intn(len(x.list))].ID
+		x.cordoned[id] = true
+		if x.random.Intn(2) == 0 {
+			delete(x.cordoned, id)
 		}
-	}
-	// All that is still open must be answered by its deadline.
-	for range 400 {
-		c.now += 5000
-		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.at <= c.now && p.token >= firstRequestToken {
-				c.timers = slices.Delete(c.timers, i, i+1)
-				b.HandleTimer(c.now, p.token)
-				continue
-			}
-			i++
+		x.balancer.SetCordon(x.now, id, x.cordoned[id])
+	case n < 18:
+		for _, e := range x.probes {
+			status := x.status()
+			x.balancer.HandleProbe(x.now, e, status, 500, []float32{float32(x.random.Intn(8))})
 		}
+		x.probes = x.probes[:0]
+	default:
+		x.changeList()
 	}
-	for id, r := range c.requests {
-		if r.answered == 0 && !r.clientGone {
-			c.fault("request %d never got a final answer", id)
+}
+
+// endAttempt ends the first attempt of r that is in flight.
+func (x *randomRun) endAttempt(r *checked) {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.inflight {
+			continue
+		}
+		a.inflight = false
+		status := x.status()
+		if status == Rejected || status == ConnectFailed || status == NotSent {
+			a.mayHaveRun = false
+		}
+		if status == OK && r.answered == 0 && !r.closed {
+			r.closed = true
 		}
+		x.balancer.HandleOutcome(x.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.endpoint.ID, Status: status,
+			Latency: x.now - a.sentAt, Answered: r.answered > 0 || r.closed})
+		break
+	}
+}
+
+// changeList changes an endpoint and sends a list with or without it, or a failure.
+func (x *randomRun) changeList() {
+	e := &x.list[x.random.Intn(len(x.list))]
+	e.State = EndpointState(x.random.Intn(3))
+	if x.random.Intn(4) == 0 {
+		e.State = Ready
+		e.StartTime = x.now - monotime.Micros(x.random.Intn(1_000_000))
+	}
+	if e.State == Ready && x.random.Intn(4) == 0 {
+		e.Zone = uint8(x.random.Intn(3))
+	}
+	switch x.random.Intn(6) {
+	case 0:
+		x.update(ListFull, slices.Clone(x.list[:x.random.Intn(len(x.list)+1)]))
+	case 1:
+		x.update(ListFailed, nil)
+	default:
+		x.update(ListDelta, []Endpoint{*e, *e})
+	}
+}
+
+func (x *randomRun) update(kind ListKind, entries []Endpoint) {
+	if kind != ListDelta && kind != ListFailed {
+		clear(x.states)
+	}
+	for _, e := range entries {
+		x.states[e.ID] = e
+	}
+	x.balancer.UpdateEndpoints(x.now, kind, entries)
+	for id := range x.cordoned { // as the host does: cordons are its own, and an entry may be new
+		x.balancer.SetCordon(x.now, id, true)
 	}
-	return c.faults
 }
 
 func TestRulesUnderRandomEvents(t *testing.T) {
@@ -286,7 +313,7 @@
 }
 
 // The checker itself must see each rule broken.
-func TestCheckerSeesBrokenRules(t *testing.T) {
+func TestCheckerDetectsBrokenRules(t *testing.T) {
 	fresh := func() *checker {
 		c := &checker{settings: testSettings(), states: map[uint32]Endpoint{}, requests: map[uint64]*checked{}}
 		for _, e := range readyEndpoints(4) {
@@ -303,11 +330,17 @@
 		"send to the drained":     func(c *checker) { c.states[1] = Endpoint{ID: 1, State: Draining}; c.Send(0, 1, 0) },
 		"send to one out by hand": func(c *checker) { c.cordoned = map[uint32]bool{1: true}; c.Send(0, 1, 0) },
 		"unsafe sent twice":       func(c *checker) { c.Send(4, 1, 0); c.Send(4, 2, 0) },
-		"unsafe refused":          func(c *checker) { c.Send(4, 1, 0); c.Reject(4, 0) },
+		"unsafe rejected":         func(c *checker) { c.Send(4, 1, 0); c.Reject(4, 0) },
 		"keyed outside its zone":  func(c *checker) { c.Send(2, 1, 0); c.Send(2, 3, 0) },
 		"keyed outside its cell":  func(c *checker) { c.Send(3, 1, 0); c.Send(3, 3, 0) },
 		"keyed after its window":  func(c *checker) { c.Send(1, 1, 0); c.now = second; c.Send(1, 2, 0) },
-		"too many attempts":       func(c *checker) { c.Send(0, 1, 0); c.Send(0, 2, 0); c.Send(0, 3, 0); c.Send(0, 4, 0) },
+		"too many attempts": func(c *checker) {
+			c.Send(0, 1, 0)
+			c.Send(0, 2, 0)
+			c.Send(0, 3, 0)
+			c.Send(0, 4,
+				0)
+		},
 	} {
 		c := fresh()
 		if do(c); len(c.faults) == 0 {
@@ -351,7 +384,7 @@
 	first := r.sends[0].endpoint
 	b.HandleOutcome(1000+s.Classes[3].DedupWindow, Outcome{ID: 1, Endpoint: first, Status: Reset})
 	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.rejected) != 0 {
-		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.rejected)
+		t.Errorf("after the window: sends %v, failed %v, rejected %v", r.sends, r.failed, r.rejected)
 	}
 }
 
@@ -360,7 +393,7 @@
 	b.HandleRequest(1000, newTestRequest(1, 4, 1000))
 	b.HandleRequest(1000, Request{ID: 2, Deadline: 500})
 	if len(r.rejected) != 2 || b.openRequests != 0 || len(b.requests) != 0 {
-		t.Errorf("refused %v, open %d", r.rejected, b.openRequests)
+		t.Errorf("rejected %v, open %d", r.rejected, b.openRequests)
 	}
 }
 
@@ -397,7 +430,7 @@
 	}
 }
 
-// coldSends counts sends to a cold endpoint over the overload window just
+// coldSends counts sends to a warming endpoint over the overload window just
 // after its start, beside nine warm ones under a steady load.
 func warmupSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
 	t.Helper()
@@ -442,7 +475,7 @@
 		for _, n := range cold {
 			// Warmth goes from 0.2 to 0.28 in this second; one request may round up.
 			if float64(n) > 0.28*warm+1 {
-				t.Errorf("rate %d: a cold endpoint got %d, a warm one %.1f", c.rate, n, warm)
+				t.Errorf("rate %d: a warming endpoint got %d, a warm one %.1f", c.rate, n, warm)
 			}
 		}
 	}
@@ -512,7 +545,8 @@
 	if len(r.sends) != 1 || len(r.rejected)+len(r.failed) != 0 {
 		t.Error("a stream that began was given an end or a copy")
 	}
-	b.HandleOutcome(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Answered: true})
+	b.HandleOutcome(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second,
+		Answered: true})
 	if len(b.requests) != 0 {
 		t.Error("record kept")
 	}
@@ -560,11 +594,11 @@
 	b, r := startBalancer(t, testSettings(), readyEndpoints(2))
 	b.HandleRequest(1000, newTestRequest(1, 99, 1000))
 	if len(r.rejected) != 1 || len(r.sends) != 0 || len(b.requests) != 0 {
-		t.Errorf("refused %v, sends %v", r.rejected, r.sends)
+		t.Errorf("rejected %v, sends %v", r.rejected, r.sends)
 	}
 }
 
-// Staff must learn why requests are refused, in one line a second and not in thousands.
+// Staff must learn why requests are rejected, in one line a second and not in thousands.
 func TestRejectionsAreLoggedOncePerSecond(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
 	b.HandleProbe(1000, 1, OK, 500, []float32{50})
@@ -574,9 +608,9 @@
 		b.HandleRequest(now, newTestRequest(id, 0, now))
 	}
 	if len(r.rejected) < 150 {
-		t.Fatalf("only %d refused", len(r.rejected))
+		t.Fatalf("only %d rejected", len(r.rejected))
 	}
-	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "endpoint 1, would take") {
+	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "best_endpoint 1 expected_ms ") {
 		t.Errorf("log: %q", r.logs)
 	}
 }
--- a/cmd/dunlinlab/sizes.go
+++ b/cmd/dunlinlab/sizes.go
@@ -90,7 +90,7 @@
 
 type buildCmd struct {
 	Program string   `arg:"" help:"Where the program is to be."`
-	Const   []string `help:"FOLDER.NAME=EXPRESSION, as balancer.kMost=1.3 or internal/decide/concurrency.shrinkPart=0.3." required:"" sep:"none" placeholder:"CONST"`
+	Const   []string `help:"FOLDER.NAME=EXPRESSION, as balancer.maxAcceptWeight=1.3 or internal/decide/concurrency.defaultShrinkThreshold=0.3." required:"" sep:"none" placeholder:"CONST"`
 	Root    string   `help:"The module's folder." default:"."`
 }
 
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/monotime"
@@ -182,4 +183,6 @@
 func (i *instance) Watch(on bool) { i.reply.Track(on) }
 
 // Log writes a trace record.
-func (i *instance) Log(line string) { i.reply.Trace(line) }
+func (i *instance) Log(message string, args ...any) {
+	i.reply.Trace(strings.TrimSuffix(fmt.Sprintln(append([]any{message}, args...)...), "\n"))
+}
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -117,10 +117,9 @@
 func (x actions) Watch(on bool) { x.pool.config.Watch(on) }
 
 // Log records a line for on-call staff.
-func (x actions) Log(line string) {
-	if x.pool.name == "" {
-		x.config.Host.Log(line)
-		return
+func (x actions) Log(message string, args ...any) {
+	if x.pool.name != "" {
+		args = append(args, "pool", x.pool.name)
 	}
-	x.config.Host.Log(line, "pool", x.pool.name)
+	x.config.Host.Log(message, args...)
 }
--- a/internal/experiment/build.go
+++ b/internal/experiment/build.go
@@ -31,7 +31,7 @@
 	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
 	dot := strings.LastIndex(key, ".")
 	if !ok || dot < 1 || value == "" || !token.IsIdentifier(key[dot+1:]) {
-		return Constant{}, fmt.Errorf("%q is not FOLDER.NAME=EXPRESSION, as balancer.kMost=1.3", text)
+		return Constant{}, fmt.Errorf("%q is not FOLDER.NAME=EXPRESSION, as balancer.maxAcceptWeight=1.3", text)
 	}
 	c := Constant{filepath.Clean(key[:dot]), key[dot+1:], value}
 	if _, err := parser.ParseExpr(c.Value); err != nil {
--- a/internal/experiment/size_test.go
+++ b/internal/experiment/size_test.go
@@ -16,7 +16,7 @@
 func TestConstants(t *testing.T) {
 	root := "../.."
 	files := map[string][]byte{}
-	for _, text := range []string{"balancer.kMost=1.3", "balancer.window = 30 * second", "internal/decide/concurrency.shrinkPart=1.0 / 3"} {
+	for _, text := range []string{"balancer.maxAcceptWeight=1.3", "balancer.breakerWindow = 30 * second", "internal/decide/concurrency.defaultShrinkThreshold=1.0 / 3"} {
 		c, err := ParseConstant(text)
 		if err == nil {
 			err = c.change(root, files)
@@ -47,8 +47,8 @@
 			t.Errorf("%s: %d lines have changed, want %d", name, changed, want)
 		}
 	}
-	for text, want := range map[string]error{"balancer.kMost": nil, "kMost=1": nil, "balancer.kMost=1 +": nil, "../x.kMost=1": nil,
-		"balancer.noSuch=1": errNoConstant, "balancer.Balancer=1": errNoConstant, "noSuch.kMost=1": fs.ErrNotExist} {
+	for text, want := range map[string]error{"balancer.maxAcceptWeight": nil, "maxAcceptWeight=1": nil, "balancer.maxAcceptWeight=1 +": nil, "../x.maxAcceptWeight=1": nil,
+		"balancer.noSuch=1": errNoConstant, "balancer.Balancer=1": errNoConstant, "noSuch.maxAcceptWeight=1": fs.ErrNotExist} {
 		c, err := ParseConstant(text)
 		if err == nil {
 			err = c.change(root, files)
