Split the balancer by concern

balancer.go held lifecycle, request ledger, membership, warm-up, probes, pick, breaker, attempts and outliers in 1,288 lines. Its functions move unchanged to lifecycle, membership, warmup, probes, admission, pick, latency, requests, breaker and outliers.go; the records of state.go to request, endpoint, breakerwindow, loadreport, statistics, random and logging.go; the settings of api.go to settings.go; the package comment to doc.go.

--- a/internal/experiment/size_test.go
+++ b/internal/experiment/size_test.go
@@ -43,7 +43,7 @@
 				changed++
 			}
 		}
-		if want := map[string]int{"balancer.go": 2, "limit.go": 1}[filepath.Base(name)]; changed != want {
+		if want := map[string]int{"breaker.go": 2, "limiter.go": 1}[filepath.Base(name)]; changed != want {
 			t.Errorf("%s: %d lines have changed, want %d", name, changed, want)
 		}
 	}
