Name the fleet member's messages and calls by what they do

Word, Sees, Begin, Give, Told, Take and the like become Message, SetObserver, Start, HandOver, TakeAggregate, Spend, in package coordination and where others use it.

--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -79,7 +79,7 @@
 }
 
 func (c *wordsCmd) play(ctx context.Context, name string, faults []gossipsim.Fault) (t told, err error) {
-	size := func(w coordination.Word) int {
+	size := func(w coordination.Message) int {
 		text, err := peers.Encode("instance-100", "instance-100", w)
 		if err != nil {
 			panic(err) // of our own words
@@ -95,12 +95,12 @@
 				s := gossipsim.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
 					Fleet: gossipsim.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
 				if c.Every > 0 {
-					s.Fleet.Loans.RequestInterval = c.Every.Microseconds()
-					s.Fleet.Loans.LeaseDuration = max(s.Fleet.Loans.LeaseDuration, 8*s.Fleet.Loans.RequestInterval)
-					s.Fleet.Lease = max(s.Fleet.Lease, 4*s.Fleet.Loans.RequestInterval)
+					s.Fleet.Quota.RequestInterval = c.Every.Microseconds()
+					s.Fleet.Quota.LeaseDuration = max(s.Fleet.Quota.LeaseDuration, 8*s.Fleet.Quota.RequestInterval)
+					s.Fleet.LeaseDuration = max(s.Fleet.LeaseDuration, 4*s.Fleet.Quota.RequestInterval)
 				}
 				if c.Plant == "spends as it starts" {
-					s.Fleet.Loans.Reserve = 1 // nothing lies idle where one is killed
+					s.Fleet.Quota.Reserve = 1 // nothing lies idle where one is killed
 				}
 				if name == "random" {
 					s.Faults = gossipsim.Random(seed, c.Members, s.Length)
--- a/cmd/dunlinsaild/members.go
+++ b/cmd/dunlinsaild/members.go
@@ -53,28 +53,28 @@
 	f := &v.Fleet
 	fmt.Fprintln(w)
 	switch {
-	case !f.Begun:
+	case !f.Active:
 		fmt.Fprintln(w, "It takes no part yet: another process has its place.")
-	case f.Book == "":
+	case f.Allocator == "":
 		fmt.Fprintln(w, "Nobody lends, as far as it knows: it goes on with its least.")
-	case f.Loan == 0:
-		fmt.Fprintf(w, "%s lends, and has not answered for %v: it goes on with its least.\n", f.Book, micros(f.HeardAgo))
+	case f.LeaseRemaining == 0:
+		fmt.Fprintf(w, "%s lends, and has not answered for %v: it goes on with its least.\n", f.Allocator, micros(f.SinceLastGrant))
 	default:
-		fmt.Fprintf(w, "%s lends (heard %v ago); its loan ends in %v if it is not renewed.\n", f.Book, micros(f.HeardAgo), micros(f.Loan))
+		fmt.Fprintf(w, "%s lends (heard %v ago); its loan ends in %v if it is not renewed.\n", f.Allocator, micros(f.SinceLastGrant), micros(f.LeaseRemaining))
 	}
-	if len(f.Shares) > 0 {
+	if len(f.Budgets) > 0 {
 		fmt.Fprintln(w, "BUDGET\tIT MAY SPEND A SECOND\tSPENT IN THE LAST")
-		for _, s := range f.Shares {
+		for _, s := range f.Budgets {
 			fmt.Fprintf(w, "%s\t%d\t%d\n", s.Budget, s.Allowed, s.Spent)
 		}
 	}
-	if f.Learning > 0 {
-		fmt.Fprintf(w, "\nIt lends since a moment: for %v only what the others show that they hold.\n", micros(f.Learning))
+	if f.RecoveryRemaining > 0 {
+		fmt.Fprintf(w, "\nIt lends since a moment: for %v only what the others show that they hold.\n", micros(f.RecoveryRemaining))
 	}
-	if len(f.Loans) > 0 {
+	if len(f.Leases) > 0 {
 		fmt.Fprintln(w, "\nIt has lent:")
 		fmt.Fprintln(w, "TO\tBUDGET\tUNITS\tIS TO HAVE\tASKED FOR")
-		for _, l := range f.Loans {
+		for _, l := range f.Leases {
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\n", l.Lessee, l.Budget, l.Units, l.Target, l.Requested)
 		}
 	}
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -97,7 +97,7 @@
 		lender := names[i/2*2]
 		scriptedpeer.Eventually(t, name+" is lent nothing", func() bool {
 			v := view(name)
-			return v.Fleet.Book == lender && v.Fleet.Loan > 0 && len(v.Fleet.Shares) == 1 && v.Fleet.Shares[0].Allowed > 2
+			return v.Fleet.Allocator == lender && v.Fleet.LeaseRemaining > 0 && len(v.Fleet.Budgets) == 1 && v.Fleet.Budgets[0].Allowed > 2
 		})
 		if s := alive(name); s != "ab" && s != "cd" || !strings.Contains(s, name) {
 			t.Errorf("%s sees %q", name, s)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -18,7 +18,7 @@
 func (x *Core) StartCoordination() { x.post(x.engine.StartCoordination) }
 
 // ReceiveFleetMessage handles a gossip message of another instance.
-func (x *Core) ReceiveFleetMessage(from string, message coordination.Word) {
+func (x *Core) ReceiveFleetMessage(from string, message coordination.Message) {
 	x.post(func(now monotime.Micros) { x.engine.ReceiveFleetMessage(now, from, message) })
 }
 
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	t.NextIncarnation = rand.Uint64
-	t.Send = func(to string, w words.Word) {
+	t.Send = func(to string, w words.Message) {
 		if p := d.gossip.Load(); p != nil { // else it is one that has not begun, or has given its place away
 			p.Tell(to, w)
 		}
--- a/internal/decide/coordination/golden_test.go
+++ b/internal/decide/coordination/golden_test.go
@@ -14,9 +14,9 @@
 // tools read this form.
 func goldenView() View {
 	return View{
-		Begun: true, Book: "instance-1", HeardAgo: 12_345, Loan: 1_500_000,
-		Shares: []Share{{Budget: "tenant/one", Allowed: 20, Spent: 7}}, Members: 9, Learning: 3_000_000,
-		Loans: []quota.LeaseStatus{{Lessee: "instance-2", Incarnation: 0xfedcba9876543210, Budget: "tenant/one", Units: 20, Target: 30,
+		Active: true, Allocator: "instance-1", SinceLastGrant: 12_345, LeaseRemaining: 1_500_000,
+		Budgets: []BudgetStatus{{Budget: "tenant/one", Allowed: 20, Spent: 7}}, Members: 9, RecoveryRemaining: 3_000_000,
+		Leases: []quota.LeaseStatus{{Lessee: "instance-2", Incarnation: 0xfedcba9876543210, Budget: "tenant/one", Units: 20, Target: 30,
 			Requested: 33.5, Until: 7_000_000, LastRequestAt: 6_000_000}},
 	}
 }
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -16,7 +16,7 @@
 	Scope CoordinationScope
 
 	// Send sends a gossip message to an instance. It must not block, and must not call the engine.
-	Send func(to string, message coordination.Word)
+	Send func(to string, message coordination.Message)
 	// NextIncarnation returns a number that no other process of the instance's name ever had, another at each call.
 	NextIncarnation func() uint64
 }
@@ -64,13 +64,13 @@
 		return err
 	}
 	x.fleet = &fleetCoordinator{Coordination: c, member: member, suspicions: map[suspectKey]float64{}}
-	member.Sees(x.observe)
+	member.SetObserver(x.observe)
 	site := x.config.Site
 	x.fleet.tenantBudgets = make([]string, len(site.Tenants))
 	for i, limit := range site.TenantLimits {
 		if limit > 0 {
 			x.fleet.tenantBudgets[i] = tenantBudgetPrefix + site.Tenants[i]
-			member.Budget(x.fleet.tenantBudgets[i], limit, false)
+			member.SetBudget(x.fleet.tenantBudgets[i], limit, false)
 		}
 	}
 	return nil
@@ -84,14 +84,14 @@
 	}
 	settings := &x.config.Site.Settings
 	err := x.JoinFleet(Coordination{
-		Fleet: coordination.Settings{Loans: quota.Settings{
+		Fleet: coordination.Settings{Quota: quota.Settings{
 			MaxInstances:    max(1, settings.Balancers),
 			Position:        settings.Position,
 			Reserve:         1,
 			RequestInterval: staticLeaseInterval,
 			LeaseDuration:   staticLeaseLength,
 		}},
-		Send:            func(string, coordination.Word) {},
+		Send:            func(string, coordination.Message) {},
 		NextIncarnation: func() uint64 { return 1 },
 	})
 	if err != nil {
@@ -103,22 +103,22 @@
 // that has started, or without a fleet.
 func (x *Engine) StartCoordination(now monotime.Micros) {
 	f := x.fleet
-	if f == nil || f.member.Begun() {
+	if f == nil || f.member.Active() {
 		return
 	}
 	x.now = now
-	f.member.Begin(now, f.NextIncarnation())
+	f.member.Start(now, f.NextIncarnation())
 	x.syncCoordinator(now)
 }
 
 // ReceiveFleetMessage handles a gossip message of another instance.
-func (x *Engine) ReceiveFleetMessage(now monotime.Micros, from string, message coordination.Word) {
+func (x *Engine) ReceiveFleetMessage(now monotime.Micros, from string, message coordination.Message) {
 	f := x.fleet
 	if f == nil {
 		return
 	}
 	x.now = now
-	f.member.Hear(now, from, message)
+	f.member.Receive(now, from, message)
 	x.syncCoordinator(now)
 	x.dispatchQueued(now)
 }
@@ -127,11 +127,11 @@
 // nil is nothing.
 func (x *Engine) HandOverCoordination(now monotime.Micros) *quota.State {
 	f := x.fleet
-	if f == nil || !f.member.Begun() {
+	if f == nil || !f.member.Active() {
 		return nil
 	}
 	x.now = now
-	state := f.member.Give(now)
+	state := f.member.HandOver(now)
 	x.syncCoordinator(now)
 	return state
 }
@@ -140,7 +140,7 @@
 // own part has started.
 func (x *Engine) RestoreCoordination(now, age monotime.Micros, state *quota.State) {
 	f := x.fleet
-	if f == nil || state == nil || f.member.Begun() {
+	if f == nil || state == nil || f.member.Active() {
 		return
 	}
 	x.now = now
@@ -160,17 +160,17 @@
 // sets the timer for its next tick.
 func (x *Engine) syncCoordinator(now monotime.Micros) {
 	f := x.fleet
-	for _, out := range f.member.Out() {
-		f.Send(out.To, out.Word)
+	for _, out := range f.member.TakeOutgoing() {
+		f.Send(out.To, out.Message)
 	}
-	if all, changed := f.member.Told(now); changed {
+	if all, changed := f.member.TakeAggregate(now); changed {
 		x.applyObservations(now, &all)
 	}
-	if !f.member.Begun() {
+	if !f.member.Active() {
 		x.cancelTimer(f.timer)
 		return
 	}
-	if due := f.member.Next(); !f.timer.pending() || due != f.timer.due {
+	if due := f.member.NextTick(); !f.timer.pending() || due != f.timer.due {
 		x.cancelTimer(f.timer)
 		f.timer = x.schedule(max(due, now+1), func(now monotime.Micros) {
 			f.member.Tick(now)
@@ -188,9 +188,9 @@
 			continue
 		}
 		own, all := o.control.EarnedRetryRate(now)
-		f.member.Earn(p.budgetName(retryBudget), own, all)
+		f.member.SetContribution(p.budgetName(retryBudget), own, all)
 		if f.Scope.Probes {
-			f.member.Budget(p.budgetName(probeBudget), o.control.FleetProbeRate(), false)
+			f.member.SetBudget(p.budgetName(probeBudget), o.control.FleetProbeRate(), false)
 		}
 		if f.Scope.OverloadLevel {
 			level, load, requested, failed := o.control.TakeObservations()
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -66,7 +66,7 @@
 			limited++
 		}
 	}
-	if allowed := fleetView(t, y, now+1000).Shares[0].Allowed; allowed < 7 || limited != 10-(allowed-6) {
+	if allowed := fleetView(t, y, now+1000).Budgets[0].Allowed; allowed < 7 || limited != 10-(allowed-6) {
 		t.Errorf("%d of 10 are beyond the limit where 6 of %d were spent a moment ago", limited, allowed)
 	}
 }
@@ -131,7 +131,7 @@
 	if retries < 80 {
 		t.Errorf("%d of 100 failures are retried, of a budget of a fifth of all", retries)
 	}
-	if v := fleetView(t, x, 30*monotime.Second); v.Loan == 0 || v.Shares[0].Budget != "further" || v.Shares[0].Allowed == 0 {
+	if v := fleetView(t, x, 30*monotime.Second); v.LeaseRemaining == 0 || v.Budgets[0].Budget != "further" || v.Budgets[0].Allowed == 0 {
 		t.Errorf("%+v", v)
 	}
 }
--- a/internal/engine/fleetquota.go
+++ b/internal/engine/fleetquota.go
@@ -31,10 +31,10 @@
 	}
 	p.hasFleetBudgets = true
 	if f.Scope.Retries {
-		f.member.Budget(p.budgetName(retryBudget), 0, true)
+		f.member.SetBudget(p.budgetName(retryBudget), 0, true)
 	}
 	if f.Scope.Probes {
-		f.member.Budget(p.budgetName(probeBudget), p.overload.control.FleetProbeRate(), false)
+		f.member.SetBudget(p.budgetName(probeBudget), p.overload.control.FleetProbeRate(), false)
 	}
 	p.updateFleetShare(0)
 }
@@ -46,8 +46,8 @@
 	if f == nil || slices.ContainsFunc(p.engine.pools, sameName) {
 		return
 	}
-	f.member.Forget(p.budgetName(retryBudget))
-	f.member.Forget(p.budgetName(probeBudget))
+	f.member.RemoveBudget(p.budgetName(retryBudget))
+	f.member.RemoveBudget(p.budgetName(probeBudget))
 }
 
 // updateFleetShare tells the pool's overload control which parts of its budgets are its own reserve, and how many
@@ -59,7 +59,7 @@
 	}
 	reserve := func(coordinated bool) float64 {
 		if coordinated {
-			return f.Fleet.Loans.Reserve
+			return f.Fleet.Quota.Reserve
 		}
 		return 1
 	}
@@ -69,7 +69,7 @@
 
 // spendQuota takes a unit of a budget's quota, and reports whether there was one.
 func (x *Engine) spendQuota(now monotime.Micros, budget string) bool {
-	if !x.fleet.member.Take(now, budget) {
+	if !x.fleet.member.Spend(now, budget) {
 		return false
 	}
 	if notify := x.config.OnQuotaSpent; notify != nil {
@@ -86,7 +86,7 @@
 	}
 	return func() bool {
 		budget := p.budgetName(probeBudget)
-		f.member.Want(now, budget)
+		f.member.RecordDemand(now, budget)
 		return p.engine.spendQuota(now, budget)
 	}
 }
@@ -94,7 +94,7 @@
 // hasRetryQuota reports whether the fleet's quota allows one more retry.
 func (p *Pool) hasRetryQuota(now monotime.Micros) bool {
 	f := p.engine.fleet
-	return p.hasFleetBudgets && f.Scope.Retries && f.member.Left(now, p.budgetName(retryBudget)) > 0
+	return p.hasFleetBudgets && f.Scope.Retries && f.member.Available(now, p.budgetName(retryBudget)) > 0
 }
 
 // countRetry charges a retry to the pool's own reserve, or else to its quota.
@@ -116,7 +116,7 @@
 	switch status {
 	case balancer.OK, balancer.Cancelled, balancer.NotSent:
 	default:
-		f.member.Want(now, p.budgetName(retryBudget))
+		f.member.RecordDemand(now, p.budgetName(retryBudget))
 	}
 }
 
@@ -143,7 +143,7 @@
 	}
 	for i, budget := range f.tenantBudgets {
 		if budget != "" && i < len(limits) {
-			f.member.Budget(budget, limits[i], false)
+			f.member.SetBudget(budget, limits[i], false)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 		return false
 	}
 	budget := f.tenantBudgets[tenant]
-	f.member.Want(now, budget)
+	f.member.RecordDemand(now, budget)
 	if x.spendQuota(now, budget) {
 		return false
 	}
--- a/internal/engine/helpers_test.go
+++ b/internal/engine/helpers_test.go
@@ -184,10 +184,10 @@
 func fleetOfOne(scope CoordinationScope) Coordination {
 	return Coordination{
 		Scope:           scope,
-		Send:            func(string, coordination.Word) {},
+		Send:            func(string, coordination.Message) {},
 		NextIncarnation: func() uint64 { return 7 },
-		Fleet: coordination.Settings{Self: "a", Lenders: []string{"a"}, Lease: monotime.Second,
-			Loans: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * monotime.Second,
+		Fleet: coordination.Settings{Self: "a", Candidates: []string{"a"}, LeaseDuration: monotime.Second,
+			Quota: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * monotime.Second,
 				RequestInterval: monotime.Second / 4, MaxClockDrift: 0.005}},
 	}
 }
--- a/internal/engine/statistics.go
+++ b/internal/engine/statistics.go
@@ -30,7 +30,7 @@
 		s.HasTenantLimits = slices.ContainsFunc(f.tenantBudgets, func(budget string) bool { return budget != "" })
 		s.RequestsOverLimit = f.requestsOverLimit
 		s.SuspectedEndpoints = len(f.suspicions)
-		s.QuotaLeased = f.member.View(now).Loan > 0
+		s.QuotaLeased = f.member.View(now).LeaseRemaining > 0
 	}
 	for _, p := range x.pools {
 		p.addStatistics(now, &s)
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -274,25 +274,25 @@
 		return nil, err
 	}
 	f := t.Fleet
-	f.Self, f.Lenders, f.Loans.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.Lenders(f.Lenders, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
+	f.Self, f.Candidates, f.Quota.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.Lenders(f.Candidates, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
 	m, err := coordination.New(f)
 	if err != nil {
 		return nil, err
 	}
 	for _, tenant := range r.own.Tenants {
-		m.Budget("tenant/"+tenant.Name, tenant.Limit, false)
+		m.SetBudget("tenant/"+tenant.Name, tenant.Limit, false)
 	}
 	var mu sync.Mutex // guards m
-	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Lenders)], Log: slog.New(slog.DiscardHandler),
-		Hear: func(from string, w coordination.Word) {
+	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Candidates)], Log: slog.New(slog.DiscardHandler),
+		Hear: func(from string, w coordination.Message) {
 			mu.Lock()
 			defer mu.Unlock()
-			m.Hear(clock.BootTime(), from, w)
+			m.Receive(clock.BootTime(), from, w)
 		}})
 	if err != nil {
 		return nil, err
 	}
-	m.Begin(clock.BootTime(), rand.Uint64())
+	m.Start(clock.BootTime(), rand.Uint64())
 	ended := make(chan struct{})
 	turn := time.NewTicker(10 * time.Millisecond)
 	var done sync.WaitGroup
@@ -305,15 +305,15 @@
 			}
 			mu.Lock()
 			m.Tick(clock.BootTime())
-			out := m.Out()
+			out := m.TakeOutgoing()
 			mu.Unlock()
 			for _, o := range out {
-				if o.Word.Ask != nil {
-					for i := range o.Word.Ask.Demands {
-						o.Word.Ask.Demands[i].Requested, o.Word.Ask.Demands[i].Contributed = times, times
+				if o.Message.Request != nil {
+					for i := range o.Message.Request.Demands {
+						o.Message.Request.Demands[i].Requested, o.Message.Request.Demands[i].Contributed = times, times
 					}
 				}
-				p.Tell(o.To, o.Word)
+				p.Tell(o.To, o.Message)
 			}
 		}
 	})
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -43,18 +43,18 @@
 		Members:  9,
 		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, AvoidProbability: 0.95}},
 	}
-	words := map[string]coordination.Word{
+	words := map[string]coordination.Message{
 		"lease-ask": {Lease: &lease.Message{Kind: lease.VoteRequest, Incarnation: term.Incarnation, Round: 17}},
 		"lease-yes": {Lease: &lease.Message{Kind: lease.VoteGranted, Incarnation: term.Incarnation, Round: 17}},
 		"lease-no": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: term.Incarnation, Round: 17, Holder: "instance-2",
 			Remaining: 1_234_567}},
 		"lease-drop":       {Lease: &lease.Message{Kind: lease.VoteReleased, Incarnation: term.Incarnation, Round: 17}},
-		"quota-ask":        {Ask: ask, Seen: seen},
-		"quota-ask-empty":  {Ask: &quota.LeaseRequest{Incarnation: 1, Sequence: 1}},
-		"quota-grant":      {Grant: grant, All: all},
+		"quota-ask":        {Request: ask, Observations: seen},
+		"quota-ask-empty":  {Request: &quota.LeaseRequest{Incarnation: 1, Sequence: 1}},
+		"quota-grant":      {Grant: grant, Aggregate: all},
 		"quota-grant-none": {Grant: &quota.Grant{Incarnation: 1, Sequence: 1, Term: term}},
-		"all-parts": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3}, Ask: ask, Seen: seen,
-			Grant: grant, All: all},
+		"all-parts": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3}, Request: ask, Observations: seen,
+			Grant: grant, Aggregate: all},
 	}
 	envelopes := map[string]envelope{
 		"consensus": {From: "instance-1", To: "instance-2", Consensus: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,7 +31,7 @@
 	Join    []string          // addresses of some others
 	Via     map[string]string // where an address is reached from here, if not there
 	Log     *slog.Logger
-	Hear    func(from string, w coordination.Word) // is called with one word at a time; may wait
+	Hear    func(from string, w coordination.Message) // is called with one word at a time; may wait
 	// HandleConsensus is the same for messages of package consensus; nil is that this instance takes no part in it.
 	HandleConsensus func(from string, w consensus.Message)
 }
@@ -61,16 +61,16 @@
 
 // envelope is a word as it is carried.
 type envelope struct {
-	From string            `cbor:"1,keyasint"`
-	To   string            `cbor:"2,keyasint"`
-	Word coordination.Word `cbor:"3,keyasint"`
+	From string               `cbor:"1,keyasint"`
+	To   string               `cbor:"2,keyasint"`
+	Word coordination.Message `cbor:"3,keyasint"`
 
 	Consensus *consensus.Message `cbor:"4,keyasint,omitempty"`
 }
 
 type outgoing struct {
 	to        string
-	word      coordination.Word
+	word      coordination.Message
 	consensus *consensus.Message
 }
 
@@ -95,7 +95,7 @@
 )
 
 // Encode returns the form of a word.
-func Encode(from, to string, w coordination.Word) ([]byte, error) {
+func Encode(from, to string, w coordination.Message) ([]byte, error) {
 	return encoding.Marshal(envelope{From: from, To: to, Word: w})
 }
 
@@ -148,7 +148,7 @@
 }
 
 // Tell sends a word to an instance by its name. It never waits; whether it comes is not known.
-func (p *Peers) Tell(to string, w coordination.Word) { p.put(outgoing{to: to, word: w}) }
+func (p *Peers) Tell(to string, w coordination.Message) { p.put(outgoing{to: to, word: w}) }
 
 // SendConsensus sends a message of package consensus to an instance.
 func (p *Peers) SendConsensus(to string, w consensus.Message) { p.put(outgoing{to: to, consensus: &w}) }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,7 +16,7 @@
 
 type heard struct {
 	from string
-	word coordination.Word
+	word coordination.Message
 }
 
 // start starts an instance at an address of its own, with what it hears.
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	all := make(chan heard, 100)
-	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), Hear: func(from string, w coordination.Word) { all <- heard{from, w} }})
+	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), Hear: func(from string, w coordination.Message) { all <- heard{from, w} }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,16 +61,16 @@
 	defer b.Close(false)
 	defer c.Close(false)
 	until(t, "they do not find one another", func() bool { return alive(a, "b") && alive(b, "a") })
-	small := coordination.Word{Ask: &quota.LeaseRequest{Incarnation: 1, Sequence: 2, Demands: []quota.Demand{{Budget: "x", Requested: 1.5, Held: 3}}}}
-	large := coordination.Word{Ask: small.Ask, Seen: &observations.Observations{}}
+	small := coordination.Message{Request: &quota.LeaseRequest{Incarnation: 1, Sequence: 2, Demands: []quota.Demand{{Budget: "x", Requested: 1.5, Held: 3}}}}
+	large := coordination.Message{Request: small.Request, Observations: &observations.Observations{}}
 	for i := range 200 {
-		large.Seen.Outcomes = append(large.Seen.Outcomes, observations.OutcomeCount{Endpoint: fmt.Sprint("endpoint-", i), Succeeded: float64(i)})
+		large.Observations.Outcomes = append(large.Observations.Outcomes, observations.OutcomeCount{Endpoint: fmt.Sprint("endpoint-", i), Succeeded: float64(i)})
 	}
-	for _, w := range []coordination.Word{small, large} {
+	for _, w := range []coordination.Message{small, large} {
 		b.Tell("a", w)
 		select {
 		case h := <-hears:
-			if h.from != "b" || fmt.Sprint(h.word.Ask.Demands) != fmt.Sprint(w.Ask.Demands) || w.Seen != nil && len(h.word.Seen.Outcomes) != 200 {
+			if h.from != "b" || fmt.Sprint(h.word.Request.Demands) != fmt.Sprint(w.Request.Demands) || w.Observations != nil && len(h.word.Observations.Outcomes) != 200 {
 				t.Errorf("heard %+v", h)
 			}
 		case <-time.After(20 * time.Second):
--- a/internal/simulation/gossipsim/talk.go
+++ b/internal/simulation/gossipsim/talk.go
@@ -26,15 +26,15 @@
 	Demand  float64 // of all together, in units a second
 	Length  monotime.Micros
 	Seed    uint64
-	Fleet   coordination.Settings       // of each: names and seeds are filled in
-	Size    func(coordination.Word) int // of a word as it is carried; nil counts words alone
+	Fleet   coordination.Settings          // of each: names and seeds are filled in
+	Size    func(coordination.Message) int // of a word as it is carried; nil counts words alone
 	Faults  []Fault
 	Plant   string // an error that is planted, by name (Plants); "" is none
 }
 
 // Shipped are the settings that hold where operators say no more (package config).
 func Shipped() coordination.Settings {
-	return coordination.Settings{Lease: second, Loans: quota.Settings{Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}
+	return coordination.Settings{LeaseDuration: second, Quota: quota.Settings{Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}
 }
 
 // Fault is something that goes wrong.
@@ -195,7 +195,7 @@
 func (w *world) start(x *member) error {
 	w.lives++
 	x.life = w.lives
-	x.rate = 1 + w.s.Fleet.Loans.MaxClockDrift*(2*w.rng.Float64()-1)
+	x.rate = 1 + w.s.Fleet.Quota.MaxClockDrift*(2*w.rng.Float64()-1)
 	if w.s.Plant == "slow clocks" && x.n%3 == 1 {
 		x.rate = 0.5 // off by far more than what is stated
 	}
@@ -207,9 +207,9 @@
 	}
 	x.m = m
 	if w.s.Plant == "spends as it starts" {
-		m.Begin(x.clock(w.now)-10*second, x.life)
+		m.Start(x.clock(w.now)-10*second, x.life)
 	} else {
-		m.Begin(x.clock(w.now), x.life)
+		m.Start(x.clock(w.now), x.life)
 	}
 	w.settle(x)
 	return nil
@@ -217,27 +217,27 @@
 
 func (w *world) member(x *member) (*coordination.Member, error) {
 	f := w.s.Fleet
-	f.Self, f.Lenders, f.Seed = x.name, w.lenders, w.s.Seed<<20+w.lives
-	f.Loans.MaxInstances = w.s.Members
+	f.Self, f.Candidates, f.Seed = x.name, w.lenders, w.s.Seed<<20+w.lives
+	f.Quota.MaxInstances = w.s.Members
 	if w.s.Plant == "two books" && x.n%2 == 1 {
-		f.Lenders = []string{x.name}
+		f.Candidates = []string{x.name}
 	}
 	if w.s.Plant == "more than said" {
-		f.Loans.MaxInstances = max(1, w.s.Members/4)
+		f.Quota.MaxInstances = max(1, w.s.Members/4)
 	}
 	m, err := coordination.New(f)
 	if err == nil {
-		m.Budget(budget, x.units, false)
+		m.SetBudget(budget, x.units, false)
 	}
 	return m, err
 }
 
 // settle takes what a member says, and has it woken in time.
 func (w *world) settle(x *member) {
-	for _, o := range x.m.Out() {
+	for _, o := range x.m.TakeOutgoing() {
 		w.carry(x, o)
 	}
-	if at := x.world(x.m.Next()); x.wakeAt <= w.now || at < x.wakeAt {
+	if at := x.world(x.m.NextTick()); x.wakeAt <= w.now || at < x.wakeAt {
 		x.wakeAt = max(at, w.now+1)
 		life := x.life
 		w.after(x.wakeAt-w.now, func() { w.wake(x, life) })
@@ -257,14 +257,14 @@
 }
 
 // carry takes a word to whom it is for.
-func (w *world) carry(from *member, o coordination.Out) {
+func (w *world) carry(from *member, o coordination.Outgoing) {
 	from.words++
 	if w.s.Size != nil {
-		from.bytes += w.s.Size(o.Word)
+		from.bytes += w.s.Size(o.Message)
 	}
-	if o.Word.Ask != nil && from.says != 1 {
-		for i := range o.Word.Ask.Demands {
-			o.Word.Ask.Demands[i].Requested *= from.says
+	if o.Message.Request != nil && from.says != 1 {
+		for i := range o.Message.Request.Demands {
+			o.Message.Request.Demands[i].Requested *= from.says
 		}
 	}
 	to := w.byName[o.To]
@@ -282,16 +282,16 @@
 				copies++
 			}
 			if w.rng.Float64() < f.Factor {
-				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Loans.LeaseDuration))
+				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Quota.LeaseDuration))
 			}
 		case "slow":
 			if slices.Contains(f.Of, from.n) {
-				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Loans.LeaseDuration))
+				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Quota.LeaseDuration))
 			}
 		}
 	}
 	for range copies {
-		w.after(delay+w.rng.Int64N(100), func() { w.arrive(from, to, o.Word) })
+		w.after(delay+w.rng.Int64N(100), func() { w.arrive(from, to, o.Message) })
 	}
 }
 
@@ -326,7 +326,7 @@
 	return false
 }
 
-func (w *world) arrive(from, to *member, word coordination.Word) {
+func (w *world) arrive(from, to *member, word coordination.Message) {
 	if !to.up || w.cut(from, to) {
 		return
 	}
@@ -339,7 +339,7 @@
 		})
 		return
 	}
-	to.m.Hear(to.clock(w.now), from.name, word)
+	to.m.Receive(to.clock(w.now), from.name, word)
 	w.settle(to)
 }
 
@@ -362,8 +362,8 @@
 		return
 	}
 	local := x.clock(w.now)
-	x.m.Want(local, budget)
-	if !x.m.Take(local, budget) {
+	x.m.RecordDemand(local, budget)
+	if !x.m.Spend(local, budget) {
 		return
 	}
 	at.Spent++
@@ -419,7 +419,7 @@
 		case "budget":
 			x.units = w.s.Units * f.Factor
 			if x.up {
-				x.m.Budget(budget, x.units, false)
+				x.m.SetBudget(budget, x.units, false)
 			}
 		case "replaced":
 			w.replace(x)
@@ -456,8 +456,8 @@
 		return
 	}
 	w.settle(x)
-	state := x.m.Give(x.clock(w.now))
-	for _, o := range x.m.Out() {
+	state := x.m.HandOver(x.clock(w.now))
+	for _, o := range x.m.TakeOutgoing() {
 		w.carry(x, o)
 	}
 	w.lives++
@@ -487,7 +487,7 @@
 		case "budget":
 			x.units = w.s.Units
 			if x.up {
-				x.m.Budget(budget, x.units, false)
+				x.m.SetBudget(budget, x.units, false)
 			}
 		}
 	}
--- a/internal/simulation/gossipsim/talk_test.go
+++ b/internal/simulation/gossipsim/talk_test.go
@@ -60,7 +60,7 @@
 			s := settings(9, seed)
 			s.Plant = plant
 			if plant == "spends as it starts" {
-				s.Fleet.Loans.Reserve = 1 // nothing is lent, and nothing lies idle when one is killed
+				s.Fleet.Quota.Reserve = 1 // nothing is lent, and nothing lies idle when one is killed
 			}
 			s.Faults = Cases(9)[map[string]string{"slow clocks": "split in halves", "spends as it starts": "killed ten times"}[plant]]
 			r, err := Run(s)
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -24,7 +24,7 @@
 type word struct {
 	from, to *instance
 	life     uint32 // of the one that it is for
-	word     coordination.Word
+	word     coordination.Message
 }
 
 // join has an engine decide together with the others, where that is set.
@@ -33,8 +33,8 @@
 		return nil
 	}
 	t := *in.run.settings.Together
-	t.Fleet.Lenders = Lenders(t.Fleet.Lenders, len(in.run.plan.Instances))
-	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Loans.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
+	t.Fleet.Candidates = Lenders(t.Fleet.Candidates, len(in.run.plan.Instances))
+	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Quota.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
 	lives := uint64(in.life) << 8
 	t.NextIncarnation = func() uint64 {
 		lives++
@@ -45,17 +45,17 @@
 }
 
 // tellWord sends a word on its way. What is said while a process is stopped was said before: it goes out.
-func (in *instance) tellWord(to string, w coordination.Word) {
+func (in *instance) tellWord(to string, w coordination.Message) {
 	r := in.run
 	text, ok := strings.CutPrefix(to, "instance-")
 	n, err := strconv.Atoi(text)
 	if !ok || err != nil || n < 0 || n >= len(r.instances) {
 		return // one that this run does not have
 	}
-	if times := r.plan.Lies(r.now); times != 1 && w.Ask != nil && in.n == len(r.instances)-1 {
-		for i := range w.Ask.Demands {
-			w.Ask.Demands[i].Requested *= times
-			w.Ask.Demands[i].Contributed *= times
+	if times := r.plan.Lies(r.now); times != 1 && w.Request != nil && in.n == len(r.instances)-1 {
+		for i := range w.Request.Demands {
+			w.Request.Demands[i].Requested *= times
+			w.Request.Demands[i].Contributed *= times
 		}
 	}
 	r.words++
