--- a/internal/decide/quota/divide.go
+++ b/internal/decide/quota/divide.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"dunlinsail/internal/decide/hash64"
 	"dunlinsail/internal/monotime"
 )
 
@@ -58,7 +59,8 @@
 		wants[i] = int(min(math.Ceil(w.Requested), float64(left)))
 		total += wants[i]
 		order[i] = i
-		turns[i] = mixSeeds(seed, uint64(now/rotationPeriod), hashString(x.name))
+		rotation := hash64.SplitMix(seed ^ uint64(now/rotationPeriod))
+		turns[i] = hash64.SplitMix(rotation ^ hash64.String(x.name))
 	}
 	if total > left {
 		for i, x := range heard {
@@ -96,24 +98,3 @@
 
 // spends is the part of what it holds that a holder must use to be taken at its word that it wants more.
 const minUtilization = 0.7
-
-// mix is a number that three others give, without order (SplitMix64).
-func mixSeeds(a, b, c uint64) uint64 {
-	z := a
-	for _, v := range [...]uint64{b, c} {
-		z = (z ^ v) + 0x9e3779b97f4a7c15
-		z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-		z = (z ^ z>>27) * 0x94d049bb133111eb
-		z ^= z >> 31
-	}
-	return z
-}
-
-// text is a hash of a text (FNV-1a).
-func hashString(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return h
-}
