--- a/internal/configcache/cache_test.go
+++ b/internal/configcache/cache_test.go
@@ -106,7 +106,8 @@
 		if err := os.WriteFile(filepath.Join(d.path, stateFile), whole[:cut], 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if k, from, err := d.Load(); from != previousStateFile || k.LastKnownGood.ControlPlane.Number != 3 || !errors.Is(err, ErrCorrupt) {
+		k, from, err := d.Load()
+		if from != previousStateFile || k.LastKnownGood.ControlPlane.Number != 3 || !errors.Is(err, ErrCorrupt) {
 			t.Fatalf("cut off at %d of %d: from %q, %v", cut, len(whole), from, err)
 		}
 	}
--- a/internal/decide/canary/canary_test.go
+++ b/internal/decide/canary/canary_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -85,67 +86,45 @@
 		{name: "all fails, little traffic", rate: 10, bad: 0.001, harm: 0.9, least: 1, most: 1, within: 4_000_000},
 		{name: "a fifth fails", rate: 100, bad: 0.01, harm: 0.2, least: 1, most: 1, within: 3_000_000},
 		{name: "a twentieth fails", rate: 100, bad: 0.005, harm: 0.05, least: 0.95, most: 1, within: 15_000_000},
-		{
-			name:     "a twentieth fails, in spells",
-			rate:     200,
-			bad:      0.01,
-			unsteady: 0.7,
-			harm:     0.05,
-			least:    0.9,
-			most:     1,
-			within:   20_000_000,
-		},
+		{name: "a twentieth fails, in spells", rate: 200, bad: 0.01, unsteady: 0.7, harm: 0.05,
+			least: 0.9, most: 1, within: 20_000_000},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			found := 0
 			var times []float64
 			for seed := range uint64(trials) {
 				rng := rand.New(rand.NewPCG(seed, 1))
-				before := &trafficSource{
-					rng:              rng,
-					rate:             tc.rate,
-					unservedFraction: tc.bad,
-					variation:        tc.unsteady,
-					failedFraction:   0.5,
-				}
-				after := &trafficSource{
-					rng:              rng,
-					rate:             tc.rate,
-					unservedFraction: tc.bad + tc.harm,
-					variation:        tc.unsteady,
-					failedFraction:   0.5,
-				}
-				v, f := runToVerdict(t, testSettings, before, after)
+				before := trafficSource{rng: rng, rate: tc.rate, unservedFraction: tc.bad}
+				before.variation = tc.unsteady
+				before.failedFraction = 0.5
+				after := before
+				after.unservedFraction += tc.harm
+				v, f := runToVerdict(t, testSettings, &before, &after)
 				if v == Degraded {
 					found++
 					times = append(times, float64(f.Duration))
 				}
 			}
 			part := float64(found) / trials
-			median := 0.0
-			if len(times) > 0 {
-				for i := range times { // insertion into order is enough for a few hundred
-					for j := i; j > 0 && times[j] < times[j-1]; j-- {
-						times[j], times[j-1] = times[j-1], times[j]
-					}
-				}
-				median = times[len(times)/2]
-			}
+			median := medianOf(times)
 			t.Logf("found worse: %.3f, median after %.2f s", part, median/1e6)
 			if part < tc.least || part > tc.most || tc.within > 0 && median > float64(tc.within) {
-				t.Errorf(
-					"found worse: %.3f, want %.3f..%.3f; median after %.2f s, want %.2f",
-					part,
-					tc.least,
-					tc.most,
-					median/1e6,
-					float64(tc.within)/1e6,
-				)
+				t.Errorf("found worse: %.3f, want %.3f..%.3f; median after %.2f s, want %.2f",
+					part, tc.least, tc.most, median/1e6, float64(tc.within)/1e6)
 			}
 		})
 	}
 }
 
+// medianOf returns the median of values, 0 for none.
+func medianOf(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
 // Less service while more is asked for proves nothing, and takes no blame; failures do all the same. A rush that
 // passes is waited for.
 func TestSurgeOfDemand(t *testing.T) {
@@ -213,17 +192,26 @@
 // before it is known, and a difference within the margin is never worse.
 func TestAnySamples(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := Settings{Duration: rapid.Int64Range(slot, 20*slot).Draw(t, "length"), HarmMargin: rapid.Float64Range(0, 0.5).Draw(t, "margin"),
-			Alpha: rapid.Float64Range(0.001, 0.2).Draw(t, "alpha"), MaxExtensions: rapid.IntRange(0, 2).Draw(t, "extend")}
+		s := Settings{
+			Duration:      rapid.Int64Range(slot, 20*slot).Draw(t, "duration"),
+			HarmMargin:    rapid.Float64Range(0, 0.5).Draw(t, "margin"),
+			Alpha:         rapid.Float64Range(0.001, 0.2).Draw(t, "alpha"),
+			MaxExtensions: rapid.IntRange(0, 2).Draw(t, "extensions"),
+		}
 		x, err := NewAnalysis(s)
 		if err != nil {
 			t.Fatal(err)
 		}
 		sample := rapid.Custom(func(t *rapid.T) Sample {
 			n := rapid.Int64Range(0, 50).Draw(t, "requests")
-			asked := float64(n) * rapid.Float64Range(0, 5).Draw(t, "worth")
-			return Sample{Duration: slot, Requests: n, Failed: rapid.Int64Range(0, n).Draw(t, "failed"), OfferedWeight: asked,
-				ServedWeight: asked * rapid.Float64Range(0, 1).Draw(t, "earned")}
+			offered := float64(n) * rapid.Float64Range(0, 5).Draw(t, "weight")
+			return Sample{
+				Duration:      slot,
+				Requests:      n,
+				Failed:        rapid.Int64Range(0, n).Draw(t, "failed"),
+				OfferedWeight: offered,
+				ServedWeight:  offered * rapid.Float64Range(0, 1).Draw(t, "served"),
+			}
 		})
 		for range rapid.IntRange(0, 30).Draw(t, "before") {
 			x.AddBaseline(sample.Draw(t, "reference"))
--- a/internal/decide/canary/ratio.go
+++ b/internal/decide/canary/ratio.go
@@ -86,8 +86,8 @@
 	return max(0, residuals/(r.count-1)/(meanDenominator*meanDenominator))
 }
 
-// rho tunes where the confidence sequence is tightest: at about (-log α² + log(-2 log α² + 1))/ρ² slots (Waudby-Smith
-// et al., section B.2). Here these are a few dozen.
+// rho tunes where the confidence sequence is tightest: at about (-log α² + log(-2 log α² + 1))/ρ² slots
+// (Waudby-Smith et al., section B.2). Here these are a few dozen.
 const rho = 0.3
 
 // confidenceHalfWidth returns the one-sided width of the confidence sequence after n slots, in standard deviations of
--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -126,7 +126,8 @@
 	s.expect("ack a/1 finally")
 	s.expectRunning("a/1 over file 1")
 	state = s.machine.PersistentState()
-	if state.Unconfirmed != nil || state.LastKnownGood.ControlPlane.Number != 1 || state.PreviousGood.ControlPlane != nil {
+	if state.Unconfirmed != nil || state.LastKnownGood.ControlPlane.Number != 1 ||
+		state.PreviousGood.ControlPlane != nil {
 		t.Errorf("confirmed %+v", state)
 	}
 	s.execute(s.machine.HandleCanaryResult(s.now, "late"))
--- a/internal/xdsclient/client_test.go
+++ b/internal/xdsclient/client_test.go
@@ -60,11 +60,18 @@
 func startClient(t *testing.T, c config.Control, running *rollout.ID) *testClient {
 	t.Helper()
 	f := &testClient{}
-	client, err := xdsclient.New(xdsclient.Options{Settings: c, InstanceName: "i-1", Zone: "a", Applied: running, Log: scriptedpeer.Quiet, OnUpdate: func(u xdsclient.Update) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.received = append(f.received, u)
-	}})
+	client, err := xdsclient.New(xdsclient.Options{
+		Settings:     c,
+		InstanceName: "i-1",
+		Zone:         "a",
+		Applied:      running,
+		Log:          scriptedpeer.Quiet,
+		OnUpdate: func(u xdsclient.Update) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.received = append(f.received, u)
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +144,9 @@
 		{State: "good", VersionInfo: "e/7"},
 		{State: "refused", VersionInfo: "e/6", ErrorDetail: "it did harm"},
 	} {
-		if g := w[i+1]; g.AnsweredVersion != "e/7" || g.State != want.State || g.VersionInfo != want.VersionInfo || g.ErrorDetail != want.ErrorDetail {
+		g := w[i+1]
+		sameState := g.State == want.State && g.VersionInfo == want.VersionInfo
+		if g.AnsweredVersion != "e/7" || !sameState || g.ErrorDetail != want.ErrorDetail {
 			t.Errorf("answer %d: %+v, want %+v", i, g, want)
 		}
 	}
@@ -161,31 +170,7 @@
 		change(r)
 		return r
 	}
-	unread := map[string]*discovery.DiscoveryResponse{
-		"was not asked for": made(func(r *discovery.DiscoveryResponse) {
-			r.TypeUrl = "type.googleapis.com/envoy.config.listener.v3.Listener"
-		}),
-		"is neither NUMBER":           made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "seven" }),
-		`"07" is neither NUMBER`:      made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "07" }),
-		"the epoch before / is empty": made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "/7" }),
-		"an epoch is at most 64": made(func(r *discovery.DiscoveryResponse) {
-			r.VersionInfo = strings.Repeat("e", 65) + "/7"
-		}),
-		`"18446744073709551616" is nei`: made(func(r *discovery.DiscoveryResponse) {
-			r.VersionInfo = "18446744073709551616"
-		}),
-	}
-	for want, r := range unread {
-		s.Broadcast(r)
-		scriptedpeer.Eventually(t, want, func() bool {
-			for _, w := range s.Requests() {
-				if strings.Contains(w.ErrorDetail, want) {
-					return true
-				}
-			}
-			return false
-		})
-	}
+	broadcastUnreadable(t, s, made)
 	release, err := xdsserver.NewResponse("9", []config.Resource{class("a", 1)}, map[string]any{"rollback": "yes"})
 	if err != nil {
 		t.Fatal(err)
@@ -222,6 +207,38 @@
 	}
 }
 
+// broadcastUnreadable sends responses whose version cannot be read, and waits for the NACK of each.
+func broadcastUnreadable(
+	t *testing.T, s *xdsserver.Server, made func(func(*discovery.DiscoveryResponse)) *discovery.DiscoveryResponse,
+) {
+	t.Helper()
+	unread := map[string]*discovery.DiscoveryResponse{
+		"was not asked for": made(func(r *discovery.DiscoveryResponse) {
+			r.TypeUrl = "type.googleapis.com/envoy.config.listener.v3.Listener"
+		}),
+		"is neither NUMBER":           made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "seven" }),
+		`"07" is neither NUMBER`:      made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "07" }),
+		"the epoch before / is empty": made(func(r *discovery.DiscoveryResponse) { r.VersionInfo = "/7" }),
+		"an epoch is at most 64": made(func(r *discovery.DiscoveryResponse) {
+			r.VersionInfo = strings.Repeat("e", 65) + "/7"
+		}),
+		`"18446744073709551616" is nei`: made(func(r *discovery.DiscoveryResponse) {
+			r.VersionInfo = "18446744073709551616"
+		}),
+	}
+	for want, r := range unread {
+		s.Broadcast(r)
+		scriptedpeer.Eventually(t, want, func() bool {
+			for _, w := range s.Requests() {
+				if strings.Contains(w.ErrorDetail, want) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 // A version over the bound is not read; the stream is asked for again, and what is sent then arrives.
 func TestResponseTooLarge(t *testing.T) {
 	s := startServer(t, xdsserver.Options{})
--- a/internal/xdsclient/decode_test.go
+++ b/internal/xdsclient/decode_test.go
@@ -14,35 +14,20 @@
 
 // What is read of a version names itself as it came, makes a configuration or an error, and never ends the process.
 func FuzzDecode(f *testing.F) {
-	file, err := config.Parse([]byte("[[listener]]\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"app\"\nendpoints = []\n[[route]]\npool = \"app\"\n"))
+	file, err := config.Parse([]byte(`
+[[listener]]
+address = "127.0.0.1:0"
+[[pool]]
+name = "app"
+endpoints = []
+[[route]]
+pool = "app"
+`))
 	if err != nil {
 		f.Fatal(err)
 	}
 	for _, kinds := range [][]string{{"class", "requests"}, {"release"}, {"route", "pool", "paths"}, {"process"}, {}} {
-		r := &discovery.DiscoveryResponse{VersionInfo: "e/1", TypeUrl: TypeURL}
-		for _, kind := range kinds {
-			value, err := structpb.NewStruct(map[string]any{
-				"name":      "look",
-				"aim":       "1s",
-				"worth":     2.5,
-				"rollback":  true,
-				"endpoints": []any{"a:1", nil},
-				"request":   map[string]any{"set": map[string]any{"a": "b"}},
-			})
-			if err != nil {
-				f.Fatal(err)
-			}
-			x, err := anypb.New(&typed.TypedStruct{TypeUrl: KindPrefix + kind, Value: value})
-			if err != nil {
-				f.Fatal(err)
-			}
-			r.Resources = append(r.Resources, x)
-		}
-		b, err := proto.Marshal(r)
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(b)
+		f.Add(encodedResponse(f, kinds))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var r discovery.DiscoveryResponse
@@ -71,3 +56,32 @@
 		}
 	})
 }
+
+// encodedResponse returns a response with a resource of each kind.
+func encodedResponse(f *testing.F, kinds []string) []byte {
+	f.Helper()
+	r := &discovery.DiscoveryResponse{VersionInfo: "e/1", TypeUrl: TypeURL}
+	for _, kind := range kinds {
+		value, err := structpb.NewStruct(map[string]any{
+			"name":      "look",
+			"aim":       "1s",
+			"worth":     2.5,
+			"rollback":  true,
+			"endpoints": []any{"a:1", nil},
+			"request":   map[string]any{"set": map[string]any{"a": "b"}},
+		})
+		if err != nil {
+			f.Fatal(err)
+		}
+		x, err := anypb.New(&typed.TypedStruct{TypeUrl: KindPrefix + kind, Value: value})
+		if err != nil {
+			f.Fatal(err)
+		}
+		r.Resources = append(r.Resources, x)
+	}
+	b, err := proto.Marshal(r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return b
+}
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -28,12 +28,13 @@
 	rejected := make(chan string, 16)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	xds := server.NewServer(ctx, all, server.CallbackFuncs{StreamRequestFunc: func(_ int64, r *discovery.DiscoveryRequest) error {
+	onRequest := func(_ int64, r *discovery.DiscoveryRequest) error {
 		if e := r.GetErrorDetail(); e != nil {
 			rejected <- r.GetVersionInfo() + ": " + e.GetMessage()
 		}
 		return nil
-	}})
+	}
+	xds := server.NewServer(ctx, all, server.CallbackFuncs{StreamRequestFunc: onRequest})
 	g := grpc.NewServer()
 	discovery.RegisterAggregatedDiscoveryServiceServer(g, xds)
 	go g.Serve(ln)
