--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -572,7 +572,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
-			words, err := json.Marshal([]cordon.Word{{Name: "s-0", Out: true, At: 1}})
+			words, err := json.Marshal([]cordon.Record{{Name: "s-0", Cordoned: true, At: 1}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -11,9 +11,9 @@
 // SetCordon takes an endpoint out of service, or lets it back in (engine.Engine.SetCordon). It returns once that is in
 // force, or an error if ctx ends or the core stops before.
 func (x *Core) SetCordon(ctx context.Context, name string, out bool, at monotime.Micros) (
-	entry cordon.Word, known bool, err error) {
+	entry cordon.Record, known bool, err error) {
 	type result struct {
-		entry cordon.Word
+		entry cordon.Record
 		known bool
 	}
 	r, err := queryContext(ctx, x, func(now monotime.Micros) (r result) {
@@ -24,7 +24,7 @@
 }
 
 // ReceiveCordons applies cordons that were set in other processes.
-func (x *Core) ReceiveCordons(cordons ...cordon.Word) {
+func (x *Core) ReceiveCordons(cordons ...cordon.Record) {
 	x.post(func(now monotime.Micros) {
 		for _, entry := range cordons {
 			x.engine.ReceiveCordon(now, entry)
@@ -33,8 +33,8 @@
 }
 
 // Cordons returns all cordons.
-func (x *Core) Cordons(ctx context.Context) ([]cordon.Word, error) {
-	return queryContext(ctx, x, func(monotime.Micros) []cordon.Word { return x.engine.Cordons() })
+func (x *Core) Cordons(ctx context.Context) ([]cordon.Record, error) {
+	return queryContext(ctx, x, func(monotime.Micros) []cordon.Record { return x.engine.Cordons() })
 }
 
 // Statistics returns the engine's figures, and calls collect at the same instant.
--- a/internal/decide/cordon/bans.go
+++ b/internal/decide/cordon/bans.go
@@ -11,50 +11,50 @@
 )
 
 // Word is what was said of a name.
-type Word struct {
-	Name string          `json:"Name"`
-	Out  bool            `json:"Out"`
-	At   monotime.Micros `json:"At"`
+type Record struct {
+	Name     string          `json:"Name"`
+	Cordoned bool            `json:"Out"`
+	At       monotime.Micros `json:"At"`
 }
 
 // keep is for how long a word that lets a name in is kept: an older one that says out may still be on its way from
 // another process. Words travel within a second; a minute is far beyond.
-const keep monotime.Micros = 60_000_000
+const uncordonRetention monotime.Micros = 60_000_000
 
 // Set is the latest word on each name. The zero value is empty.
-type Set struct{ words map[string]Word }
+type Set struct{ records map[string]Record }
 
 // Say hears a word, and says whether it changed what holds for the name. Of two words the later holds; of two of one
 // instant, the one that says out.
-func (s *Set) Say(w Word) (changed bool) {
-	was, known := s.words[w.Name]
-	if known && (w.At < was.At || w.At == was.At && !w.Out) {
+func (s *Set) Apply(w Record) (changed bool) {
+	was, known := s.records[w.Name]
+	if known && (w.At < was.At || w.At == was.At && !w.Cordoned) {
 		return false
 	}
-	if s.words == nil {
-		s.words = map[string]Word{}
+	if s.records == nil {
+		s.records = map[string]Record{}
 	}
-	s.words[w.Name] = w
-	for name, o := range s.words { // few: one each that a hand has touched
-		if !o.Out && w.At-o.At > keep {
-			delete(s.words, name)
+	s.records[w.Name] = w
+	for name, o := range s.records { // few: one each that a hand has touched
+		if !o.Cordoned && w.At-o.At > uncordonRetention {
+			delete(s.records, name)
 		}
 	}
-	return was.Out != w.Out
+	return was.Cordoned != w.Cordoned
 }
 
 // Out says whether a name is out.
-func (s *Set) Out(name string) bool { return s.words[name].Out }
+func (s *Set) Cordoned(name string) bool { return s.records[name].Cordoned }
 
 // Latest returns the instant of the latest word on a name, 0 for none: what is said next must be later.
-func (s *Set) Latest(name string) monotime.Micros { return s.words[name].At }
+func (s *Set) LastChange(name string) monotime.Micros { return s.records[name].At }
 
 // Words returns all words that are kept, by name.
-func (s *Set) Words() []Word {
-	all := make([]Word, 0, len(s.words))
-	for _, w := range s.words {
+func (s *Set) Records() []Record {
+	all := make([]Record, 0, len(s.records))
+	for _, w := range s.records {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b Word) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
--- a/internal/decide/cordon/bans_test.go
+++ b/internal/decide/cordon/bans_test.go
@@ -14,13 +14,13 @@
 func TestOrderDoesNotMatter(t *testing.T) {
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		var words []Word
+		var words []Record
 		for range 1 + rng.IntN(20) {
-			words = append(words, Word{fmt.Sprint("s-", rng.IntN(4)), rng.IntN(2) == 0, monotime.Micros(rng.IntN(30))})
+			words = append(words, Record{fmt.Sprint("s-", rng.IntN(4)), rng.IntN(2) == 0, monotime.Micros(rng.IntN(30))})
 		}
-		latest := map[string]Word{}
+		latest := map[string]Record{}
 		for _, w := range words {
-			if o, known := latest[w.Name]; !known || w.At > o.At || w.At == o.At && w.Out {
+			if o, known := latest[w.Name]; !known || w.At > o.At || w.At == o.At && w.Cordoned {
 				latest[w.Name] = w
 			}
 		}
@@ -29,18 +29,18 @@
 			for range 2 {
 				rng.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
 				for _, w := range words {
-					before := s.Out(w.Name)
-					if changed := s.Say(w); changed != (before != s.Out(w.Name)) {
+					before := s.Cordoned(w.Name)
+					if changed := s.Apply(w); changed != (before != s.Cordoned(w.Name)) {
 						t.Fatalf("seed %d: %v changed %v", seed, w, changed)
 					}
 				}
 			}
-			if len(s.Words()) != len(latest) {
-				t.Fatalf("seed %d: %v, want %v", seed, s.Words(), latest)
+			if len(s.Records()) != len(latest) {
+				t.Fatalf("seed %d: %v, want %v", seed, s.Records(), latest)
 			}
 			for name, w := range latest {
-				if s.Out(name) != w.Out || s.Latest(name) != w.At {
-					t.Fatalf("seed %d: %v, want %v", seed, s.Words(), w)
+				if s.Cordoned(name) != w.Cordoned || s.LastChange(name) != w.At {
+					t.Fatalf("seed %d: %v, want %v", seed, s.Records(), w)
 				}
 			}
 		}
@@ -50,11 +50,11 @@
 // Words that let in are forgotten after a while, those that say out never.
 func TestForgets(t *testing.T) {
 	var s Set
-	s.Say(Word{"s-1", true, 1})
-	s.Say(Word{"s-2", true, 2})
-	s.Say(Word{"s-2", false, 3})
-	s.Say(Word{"s-3", true, 4 + keep})
-	if got, want := s.Words(), []Word{{"s-1", true, 1}, {"s-3", true, 4 + keep}}; !slices.Equal(got, want) {
+	s.Apply(Record{"s-1", true, 1})
+	s.Apply(Record{"s-2", true, 2})
+	s.Apply(Record{"s-2", false, 3})
+	s.Apply(Record{"s-3", true, 4 + uncordonRetention})
+	if got, want := s.Records(), []Record{{"s-1", true, 1}, {"s-3", true, 4 + uncordonRetention}}; !slices.Equal(got, want) {
 		t.Errorf("kept %v, want %v", got, want)
 	}
 }
--- a/internal/engine/cordon.go
+++ b/internal/engine/cordon.go
@@ -9,26 +9,26 @@
 // SetCordon takes an endpoint out of service in all pools that list it, or lets it back in. The instant at is on the
 // clock of cordons, which all processes that exchange them share. It returns the cordon that was set; known is false,
 // and nothing is changed, for a name that no pool lists and that is not cordoned.
-func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (entry cordon.Word, known bool) {
+func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (entry cordon.Record, known bool) {
 	for _, p := range x.pools {
 		known = known || p.listsEndpoint(name)
 	}
-	if !known && !x.cordons.Out(name) {
-		return cordon.Word{}, false
+	if !known && !x.cordons.Cordoned(name) {
+		return cordon.Record{}, false
 	}
-	entry = cordon.Word{Name: name, Out: out, At: max(at, x.cordons.Latest(name)+1)}
+	entry = cordon.Record{Name: name, Cordoned: out, At: max(at, x.cordons.LastChange(name)+1)}
 	x.ReceiveCordon(now, entry)
 	return entry, true
 }
 
 // ReceiveCordon applies a cordon that was set here or in another process. One that is older than the latest of its
 // endpoint changes nothing.
-func (x *Engine) ReceiveCordon(now monotime.Micros, entry cordon.Word) {
+func (x *Engine) ReceiveCordon(now monotime.Micros, entry cordon.Record) {
 	x.now = now
-	if !x.cordons.Say(entry) {
+	if !x.cordons.Apply(entry) {
 		return
 	}
-	x.config.Host.Log("endpoint cordon changed", "endpoint", entry.Name, "out", entry.Out)
+	x.config.Host.Log("endpoint cordon changed", "endpoint", entry.Name, "out", entry.Cordoned)
 	for _, p := range x.pools {
 		if e := p.byName[entry.Name]; e != nil {
 			p.applyExclusion(now, entry.Name, e)
@@ -39,7 +39,7 @@
 }
 
 // Cordons returns all cordons, for another process that is to hold the same.
-func (x *Engine) Cordons() []cordon.Word { return x.cordons.Words() }
+func (x *Engine) Cordons() []cordon.Record { return x.cordons.Records() }
 
 // setExcluded has the balancer send nothing more to an endpoint, or lets it send there again. Attempts that wait for a
 // connection are stopped, too.
--- a/internal/engine/cordon_test.go
+++ b/internal/engine/cordon_test.go
@@ -20,7 +20,7 @@
 	now        monotime.Micros
 	generation int64
 	cordoned   map[string]bool
-	cordons    []cordon.Word // all that were set
+	cordons    []cordon.Record // all that were set
 }
 
 // updateList passes the endpoint list to the engine.
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -58,7 +58,7 @@
 // applyExclusion applies cordons and the maintenance plan to one endpoint.
 func (p *Pool) applyExclusion(now monotime.Micros, name string, e *Endpoint) {
 	plan := &p.engine.maintenance.MaintenancePlan
-	p.setExcluded(now, e, p.engine.cordons.Out(name) || slices.Contains(plan.Stopped, name))
+	p.setExcluded(now, e, p.engine.cordons.Cordoned(name) || slices.Contains(plan.Stopped, name))
 	announced := slices.Contains(plan.Announced, name)
 	p.balancer.SetPaused(now, e.Number, plan.AwaitingPlan || announced && now >= plan.LeaseEnd)
 	if e.excluded || e.state != balancer.Ready {
@@ -129,7 +129,7 @@
 		Kind:     kind,
 		Cell:     int(info.Cell),
 		Capacity: float64(info.Weight),
-		Healthy:  info.State == balancer.Ready && !x.cordons.Out(info.Name) && !ejected,
+		Healthy:  info.State == balancer.Ready && !x.cordons.Cordoned(info.Name) && !ejected,
 	}
 }
 
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -166,7 +166,7 @@
 	count := 0
 	if p.subset != nil {
 		for name, info := range p.subset.endpoints {
-			if info.State == balancer.Ready && !p.engine.cordons.Out(name) {
+			if info.State == balancer.Ready && !p.engine.cordons.Cordoned(name) {
 				count++
 			}
 		}
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -18,8 +18,8 @@
 //
 // Predecessor and successor may be different builds: the names in the tags are the stored form, and never change.
 type Snapshot struct {
-	Pools   []PoolSnapshot `json:"Pools"`
-	Cordons []cordon.Word  `json:"Words"`
+	Pools   []PoolSnapshot  `json:"Pools"`
+	Cordons []cordon.Record `json:"Words"`
 
 	// Fleet is what HandOverCoordination returned; nil is nothing.
 	Fleet *quota.State `json:"Fleet,omitempty"`
@@ -88,7 +88,7 @@
 
 // Snapshot returns what the engine holds, but for Fleet and Maintenance, which its owner adds.
 func (x *Engine) Snapshot(now monotime.Micros) *Snapshot {
-	s := &Snapshot{Cordons: x.cordons.Words()}
+	s := &Snapshot{Cordons: x.cordons.Records()}
 	for _, p := range x.pools {
 		if !p.closed {
 			s.Pools = append(s.Pools, *p.snapshot(now))
--- a/internal/sidecar/course.go
+++ b/internal/sidecar/course.go
@@ -535,12 +535,12 @@
 }
 
 // say tells a word to the other processes of this sidecar. It may be called from any goroutine.
-func (l *lifecycle) broadcastCordon(w cordon.Word) {
+func (l *lifecycle) broadcastCordon(w cordon.Record) {
 	l.cordonPeersMu.Lock()
 	to := l.cordonPeers
 	l.cordonPeersMu.Unlock()
 	for _, c := range to {
-		text, err := json.Marshal([]cordon.Word{w})
+		text, err := json.Marshal([]cordon.Record{w})
 		if err == nil {
 			c.Write(takeover.Message{Kind: takeover.Cordons, Payload: text}) // a failure shows as the connection's end
 		}
@@ -548,7 +548,7 @@
 }
 
 func (l *lifecycle) receiveCordons(text []byte) {
-	var words []cordon.Word
+	var words []cordon.Record
 	if err := json.Unmarshal(text, &words); err != nil {
 		l.sidecar.log.Warn("words by hand from the other process make no sense", "error", err)
 		return
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -78,7 +78,7 @@
 }
 
 // spoken returns the words that another process of this sidecar has kept.
-func (s *sidecar) readCordons() (words []cordon.Word) {
+func (s *sidecar) readCordons() (words []cordon.Record) {
 	if s.config.Meeting == "" {
 		return nil
 	}
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -26,7 +26,7 @@
 	}
 	s := &sidecar{config: &platform.Config{Meeting: dir}, log: scriptedpeer.Quiet}
 	words := s.readCordons()
-	want := []cordon.Word{{Name: "s-0", Out: true, At: 1_700_000_000_000_001}, {Name: "s-1", Out: false, At: 2}}
+	want := []cordon.Record{{Name: "s-0", Cordoned: true, At: 1_700_000_000_000_001}, {Name: "s-1", Cordoned: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
 		t.Fatalf("read %+v, want %+v", words, want)
 	}
