--- a/internal/consensus/boltstore.go
+++ b/internal/consensus/boltstore.go
@@ -12,13 +12,13 @@
 )
 
 // BoltStore is a LogStore in a file of go.etcd.io/bbolt, whose transactions are atomic and durable. Its methods may
-// be called from many goroutines. Who opens it closes it.
+// be called from many goroutines. The caller of OpenBoltStore must close it.
 //
 // The file's form is that of earlier builds: a bucket "meta" with the keys "hard" and "snapshot", and a bucket
 // "entries" with each entry under its index (8 bytes, big endian); all values are in raft's protocol buffers.
 type BoltStore struct{ db *bbolt.DB }
 
-// ErrCorrupt is wrapped by errors of a file whose content makes no sense.
+// ErrCorrupt is wrapped by errors of a file whose content is invalid.
 var ErrCorrupt = errors.New("corrupt raft log file")
 
 var (
@@ -31,7 +31,7 @@
 // openTimeout bounds how long OpenBoltStore waits for another process that has the file open.
 const openTimeout = 2 * time.Second
 
-// OpenBoltStore opens a file, or makes it. One process has it open at a time.
+// OpenBoltStore opens a file and creates it if needed. Only one process may have it open.
 func OpenBoltStore(path string) (*BoltStore, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
 	if err != nil {
@@ -55,7 +55,7 @@
 // Close closes the file.
 func (s *BoltStore) Close() error { return s.db.Close() }
 
-// Load returns what is stored. Its errors wrap ErrCorrupt where the content makes no sense.
+// Load returns what is stored. Its errors wrap ErrCorrupt if the content is invalid.
 func (s *BoltStore) Load() (stored StoredLog, empty bool, err error) {
 	err = s.db.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -18,7 +18,7 @@
 	clockEntryInterval = monotime.Second
 )
 
-// leaderTerm is what an instance knows while it leads. Each term of leadership has one of its own.
+// leaderTerm is what an instance knows while it leads. Each term of leadership has its own.
 type leaderTerm struct {
 	number      uint64 // raft's
 	coordinator *maintenance.Coordinator
@@ -120,7 +120,7 @@
 	n.propose(now, command)
 }
 
-// propose proposes a command for the log. ok is false where raft does not take it, since this instance leads no more.
+// propose proposes a command for the log. ok is false if raft rejects it, because this instance no longer leads.
 func (n *Node) propose(now monotime.Micros, command maintenance.Command) (proposalID uint64, ok bool) {
 	command.Time = n.stateClock(now)
 	n.lastNumber++
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -32,14 +32,14 @@
 type Node struct {
 	settings          Settings
 	follower          *maintenance.Follower
-	leader            string          // as far as is known; "" is not at all
+	leader            string          // as far as known; "" if unknown
 	reportAt          monotime.Micros // when the next report is due
 	unansweredReports int
 	outgoing          []Outgoing
 	toSelf            []Message // messages from this instance to itself, handled by process
 
 	// The sources of what is reported and proposed.
-	fleetStatus func() maintenance.FleetStatus // nil is that this instance knows nothing
+	fleetStatus func() maintenance.FleetStatus // nil if this instance knows nothing
 	inFlight    func(machine string) int
 
 	// Of a voter: the raft log, see raftlog.go and voters.go.
@@ -71,7 +71,7 @@
 }
 
 // New returns an instance, of which incarnation tells its process from any other of its name. store is nil for one
-// that is no voter. Where the store cannot be read, or its log makes no sense, New returns the error beside an
+// that is no voter. Where the store cannot be read, or raft rejects its log, New returns the error beside an
 // instance that has no vote; any other error comes without an instance.
 func New(now monotime.Micros, s Settings, incarnation uint64, store LogStore) (*Node, error) {
 	follower, err := maintenance.NewFollower(s.Maintenance, incarnation)
@@ -112,7 +112,7 @@
 // PlanFollower returns what this instance has to apply of the plan.
 func (n *Node) PlanFollower() *maintenance.Follower { return n.follower }
 
-// State returns the plan as far as this voter has applied the log. It must not be changed.
+// State returns the plan as far as this voter has applied the log. The caller must not modify it.
 func (n *Node) State() *maintenance.State { return n.state }
 
 // NextTick returns when Tick has something to do.
@@ -125,7 +125,7 @@
 	return outgoing
 }
 
-// Tick does what is due at an instant.
+// Tick does the work that is due at an instant: ticks of raft's clock, reports, and what a leader proposes.
 func (n *Node) Tick(now monotime.Micros) {
 	defer n.recoverRaftPanic()
 	for n.tickAt <= now {
@@ -183,7 +183,7 @@
 	}
 }
 
-// handleLeader takes in who leads, and reports there at once where that is news.
+// handleLeader records which voter leads, and schedules a report to it at once if that has changed.
 func (n *Node) handleLeader(now monotime.Micros, leader string) {
 	if n.leader != leader {
 		n.leader = leader
--- a/internal/consensus/operators.go
+++ b/internal/consensus/operators.go
@@ -13,7 +13,7 @@
 // silentLeases is for how many leases an instance may go without a report before operators see it as silent.
 const silentLeases = 4
 
-// operatorCall is an operator's request that is to be answered.
+// operatorCall identifies an operator's request that awaits a reply.
 type operatorCall struct {
 	from   string // the instance where the operator called
 	number uint64 // of the request
@@ -31,7 +31,7 @@
 	return n.sendOperatorRequest(now, OperatorRequest{View: true})
 }
 
-// TakeReply returns the reply to a request, once; ok is false where none has come.
+// TakeReply returns the reply to a request, once; ok is false if none has arrived.
 func (n *Node) TakeReply(number uint64) (reply OperatorReply, ok bool) {
 	reply, ok = n.replies[number]
 	delete(n.replies, number)
@@ -58,7 +58,7 @@
 	return number
 }
 
-// handleOperatorRequest takes in an operator's request. A voter that does not lead answers with the name of the one
+// handleOperatorRequest handles an operator's request. A voter that does not lead answers with the name of the one
 // that does.
 func (n *Node) handleOperatorRequest(now monotime.Micros, from string, request OperatorRequest) {
 	if !n.IsLeader() || n.term == nil {
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -79,7 +79,7 @@
 	return nil
 }
 
-// raftLeader returns who leads, as far as this voter knows; "" is nobody.
+// raftLeader returns the name of the leader, as far as this voter knows; "" if there is none.
 func (n *Node) raftLeader() string {
 	if n.rawNode == nil {
 		return ""
@@ -207,7 +207,7 @@
 	}
 	n.snapshotIndex = n.appliedIndex
 	if n.appliedIndex > retainedEntries {
-		_ = n.raftStorage.Compact(n.appliedIndex - retainedEntries) // an error is that this was compacted before
+		_ = n.raftStorage.Compact(n.appliedIndex - retainedEntries) // fails only if it was compacted before
 	}
 }
 
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -17,7 +17,7 @@
 	report maintenance.Report
 }
 
-// handleReport takes in an instance's report. A voter that does not lead answers with the name of the one that does.
+// handleReport handles an instance's report. A voter that does not lead answers with the name of the one that does.
 func (n *Node) handleReport(now monotime.Micros, from string, report maintenance.Report) {
 	if !n.IsLeader() {
 		n.sendLeader(from)
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -6,7 +6,7 @@
 
 // LogStore keeps a voter's log. What Save has returned for must be there after any end of the process.
 type LogStore interface {
-	// Load returns what is stored; empty is that nothing ever was.
+	// Load returns what is stored; empty is true if nothing ever was.
 	Load() (stored StoredLog, empty bool, err error)
 	// Save stores what is new, all of it or nothing, and returns once it is durable. Entries replace stored ones from
 	// the first of them on; a snapshot replaces all entries up to its index. Any of the arguments may be nil.
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -13,14 +13,14 @@
 // This file holds the membership of voters: which instance has a vote, and how the fleet's log is started. The voters
 // are those of the settings; they do not change while the fleet runs.
 
-// ErrLogInconsistent is wrapped by the error of a voter whose log makes no sense to raft, as one that was restored
-// from an older copy.
+// ErrLogInconsistent is wrapped by the error of a voter whose log raft rejects, such as one restored from an older
+// copy.
 var ErrLogInconsistent = errors.New("the raft log is inconsistent")
 
 // raftIDOf returns the raft id of the voter at an index of Settings.Voters. 0 is no valid id in raft.
 func raftIDOf(index int) uint64 { return uint64(index + 1) }
 
-// voterName returns the name of the voter of a raft id; ok is false where there is none.
+// voterName returns the name of the voter of a raft id; ok is false if there is none.
 func (n *Node) voterName(raftID uint64) (name string, ok bool) {
 	if raftID == 0 || int(raftID) > len(n.settings.Voters) {
 		return "", false
@@ -59,7 +59,7 @@
 	return err
 }
 
-// VoterError returns why this voter has stopped voting; nil is that it has not, or is no voter.
+// VoterError returns why this voter has stopped voting; nil if it has not, or is no voter.
 func (n *Node) VoterError() error { return n.voterErr }
 
 // LogMissing reports whether this voter has no log. Where the fleet has one, the voter has lost its own: it has no
@@ -83,7 +83,7 @@
 	}
 }
 
-// handleNoLog takes in that another voter has no log. The log is started once all voters have none.
+// handleNoLog records that another voter has no log. The log is bootstrapped once no voter has one.
 func (n *Node) handleNoLog(from string) {
 	switch {
 	case n.noLog:
--- a/internal/decide/maintenance/capacity.go
+++ b/internal/decide/maintenance/capacity.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// drainBlockedBy returns why a machine must not be drained now; "" is that nothing stands against it.
+// drainBlockedBy returns why a machine must not be drained now; "" if it may be.
 func (x *State) drainBlockedBy(m *Machine) string {
 	i := x.Fleet.index(m.Name)
 	switch {
@@ -94,7 +94,7 @@
 	return x.boundReachedBy(&x.Fleet.Machines[i], x.outageBeside(i))
 }
 
-// boundReachedBy returns which bound a machine would break if it were drained beside what is out; "" is none.
+// boundReachedBy returns which bound a machine would break if it were drained beside what is out; "" if none.
 func (x *State) boundReachedBy(status *MachineStatus, o outage) string {
 	s := &x.settings
 	spareable := o.remainingCapacity * (1 - s.Headroom)
@@ -115,7 +115,7 @@
 	return ""
 }
 
-// lostZone returns the first zone, by name, of which more than half is out without having been drained; "" is none.
+// lostZone returns the first zone, by name, of which more than half is out without having been drained; "" if none.
 func (x *State) lostZone() string {
 	total := map[string]int{}
 	unplanned := map[string]int{}
@@ -155,7 +155,7 @@
 	}
 }
 
-// recallReason returns why what is out is needed back; "" is that it is not.
+// recallReason returns why capacity that is out is needed back; "" if it is not.
 func (x *State) recallReason() string {
 	if zone := x.lostZone(); zone != "" {
 		return "more than half of zone " + zone + " is out unplanned"
--- a/internal/decide/maintenance/coordinator.go
+++ b/internal/decide/maintenance/coordinator.go
@@ -9,7 +9,7 @@
 )
 
 // Coordinator is what the leader knows of how far every instance has applied the plan. Each term of leadership has
-// one of its own, made with NewCoordinator; nothing of it is stored.
+// its own, made with NewCoordinator; none of it is stored.
 type Coordinator struct {
 	settings  Settings
 	since     monotime.Micros
@@ -94,7 +94,7 @@
 	return progress
 }
 
-// notAcknowledgedBy returns which instance may not know a machine as announced; "" is none.
+// notAcknowledgedBy returns which instance may not know that a machine is announced; "" if none.
 func (c *Coordinator) notAcknowledgedBy(x *State, m *Machine) string {
 	for _, name := range slices.Sorted(maps.Keys(x.Instances)) {
 		progress := c.instances[Instance{Name: name, Incarnation: x.Instances[name]}]
@@ -124,7 +124,7 @@
 	return c.predecessorInUse(now, x)
 }
 
-// predecessorInUse returns which instance's earlier process may still have something in flight; "" is none.
+// predecessorInUse returns which instance's earlier process may still have something in flight; "" if none.
 func (c *Coordinator) predecessorInUse(now monotime.Micros, x *State) string {
 	for _, instance := range c.sortedInstances() {
 		current := x.Instances[instance.Name] == instance.Incarnation
--- a/internal/decide/maintenance/types.go
+++ b/internal/decide/maintenance/types.go
@@ -21,7 +21,7 @@
 type FleetStatus struct {
 	Machines  []MachineStatus `json:"Machines"`
 	Usage     float64         `json:"Use"`  // now, in the unit of MachineStatus.Capacity
-	PeakUsage float64         `json:"Peak"` // as far as is known, in the time ahead
+	PeakUsage float64         `json:"Peak"` // expected for the time ahead
 }
 
 // Phase is how far a machine is on its way out of service and back.
@@ -63,7 +63,7 @@
 	DueAt        monotime.Micros `json:"Until"`   // under maintenance: when the work was to be done
 	PlanVersion  uint64          `json:"Version"` // of the first plan that lists it as it is listed now
 	Overdue      bool            `json:"Overdue"`
-	RecallReason string          `json:"Wanted"` // under maintenance: why its capacity is needed back; "" is not at all
+	RecallReason string          `json:"Wanted"` // under maintenance: why its capacity is needed back; "" if it is not
 	WaitReason   string          `json:"Waits"`  // why it does not go on to the next phase
 }
 
