Name the simulator's records by what they do to the balancer

The Go names of the wire's records and of the reply's methods were the simulator's own words: deliver, decline, revoke, arm, sound_out, let_go, track, whisper. They are the balancer's now: Send, Reject, Cancel, SetTimer, Probe, Release, Watch, Gossip. The names on the wire, which errors and settings text tell, stay as they are.

go test ./internal/wire ./cmd/simhost: ok, golden replies unchanged.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -26,11 +26,11 @@
 
 // host runs the instances of one process. They share nothing but its buffers.
 type host struct {
-	decoder wire.Decoder
-	reply   wire.Reply
-	balance map[uint32]*instance
-	strange [256]bool // unknown codes already reported
-	stderr  io.Writer
+	decoder         wire.Decoder
+	reply           wire.Reply
+	instances       map[uint32]*instance
+	reportedUnknown [256]bool // unknown codes already reported
+	stderr          io.Writer
 }
 
 // instance is one balancer with its number, and the Actions given to it.
@@ -41,7 +41,7 @@
 }
 
 func run(in io.Reader, out, stderr io.Writer) error {
-	h := &host{balance: map[uint32]*instance{}, stderr: stderr}
+	h := &host{instances: map[uint32]*instance{}, stderr: stderr}
 	var frame []byte
 	for {
 		next, err := wire.ReadFrame(in, frame)
@@ -79,16 +79,16 @@
 			return err
 		}
 		switch e.Code {
-		case wire.Manifest:
+		case wire.EventEntries:
 			continue
-		case wire.Instance:
+		case wire.EventInstance:
 			current, named = e.Instance, true
-			h.reply.As(current)
+			h.reply.Instance(current)
 			continue
 		}
-		if e.Code < wire.Begin || e.Code > wire.Instance {
-			if !h.strange[e.Code] {
-				h.strange[e.Code] = true
+		if e.Code < wire.EventStart || e.Code > wire.EventInstance {
+			if !h.reportedUnknown[e.Code] {
+				h.reportedUnknown[e.Code] = true
 				fmt.Fprintf(h.stderr, "simhost: %v at byte %d: unknown code, skipped\n", e.Code, e.Offset)
 			}
 			continue
@@ -96,14 +96,14 @@
 		if !named {
 			return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset, Reason: "comes before any instance"}
 		}
-		i := h.balance[current]
+		i := h.instances[current]
 		if i == nil {
-			if e.Code != wire.Begin {
+			if e.Code != wire.EventStart {
 				return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset,
 					Reason: fmt.Sprintf("instance %d has not begun", current)}
 			}
 			i = &instance{host: h, number: current}
-			h.balance[current] = i
+			h.instances[current] = i
 		}
 		i.handle(now, &e)
 	}
@@ -118,10 +118,10 @@
 		}
 	}()
 	switch e.Code {
-	case wire.Begin:
-		i.begin(now, e)
+	case wire.EventStart:
+		i.start(now, e)
 		return
-	case wire.Stop:
+	case wire.EventStop:
 		i.balancer = nil
 	}
 	b := i.balancer
@@ -129,26 +129,26 @@
 		return
 	}
 	switch e.Code {
-	case wire.Membership:
-		b.UpdateEndpoints(now, e.Kind, e.Entries)
-	case wire.Request:
+	case wire.EventEndpointList:
+		b.UpdateEndpoints(now, e.ListKind, e.Entries)
+	case wire.EventRequest:
 		b.HandleRequest(now, e.Request)
-	case wire.Headers:
+	case wire.EventHeaders:
 		b.HandleHeaders(now, e.Outcome.ID, e.Outcome.Attempt, e.Outcome.Latency)
-	case wire.Answer:
+	case wire.EventOutcome:
 		b.HandleOutcome(now, e.Outcome)
-	case wire.CancelledByClient:
+	case wire.EventClientGone:
 		b.HandleClientGone(now, e.Outcome.ID)
-	case wire.TimeoutFired:
+	case wire.EventTimer:
 		b.HandleTimer(now, e.Token)
-	case wire.HealthResult:
+	case wire.EventProbe:
 		b.HandleProbe(now, e.Endpoint, e.Status, e.Latency, e.Load)
 	}
 }
 
-func (i *instance) begin(now monotime.Micros, e *wire.Event) {
+func (i *instance) start(now monotime.Micros, e *wire.Event) {
 	i.balancer = nil
-	s, err := wire.ParseSettings(e.Config)
+	s, err := wire.ParseSettings(e.Settings)
 	if err == nil {
 		i.balancer, err = balancer.New(s, e.Seed, i)
 	}
@@ -161,28 +161,28 @@
 
 // Send writes a deliver record.
 func (i *instance) Send(id uint64, endpoint uint32, timeout monotime.Micros) {
-	i.reply.Deliver(id, endpoint, timeout)
+	i.reply.Send(id, endpoint, timeout)
 }
 
 // Refuse writes a decline record.
-func (i *instance) Reject(id uint64, retryAfter monotime.Micros) { i.reply.Decline(id, retryAfter) }
+func (i *instance) Reject(id uint64, retryAfter monotime.Micros) { i.reply.Reject(id, retryAfter) }
 
 // Fail writes a fail record.
 func (i *instance) Fail(id uint64) { i.reply.Fail(id) }
 
 // Cancel writes a revoke record.
-func (i *instance) Cancel(id uint64, attempt int) { i.reply.Revoke(id, attempt) }
+func (i *instance) Cancel(id uint64, attempt int) { i.reply.Cancel(id, attempt) }
 
 // Timer writes an arm record.
-func (i *instance) SetTimer(delay monotime.Micros, token uint32) { i.reply.Arm(delay, token) }
+func (i *instance) SetTimer(delay monotime.Micros, token uint32) { i.reply.SetTimer(delay, token) }
 
 // Probe writes a sound_out record.
-func (i *instance) Probe(endpoint uint32) { i.reply.SoundOut(endpoint) }
+func (i *instance) Probe(endpoint uint32) { i.reply.Probe(endpoint) }
 
 // Watch writes a track record.
-func (i *instance) Watch(on bool) { i.reply.Track(on) }
+func (i *instance) Watch(on bool) { i.reply.Watch(on) }
 
 // Log writes a trace record.
 func (i *instance) Log(message string, args ...any) {
-	i.reply.Trace(strings.TrimSuffix(fmt.Sprintln(append([]any{message}, args...)...), "\n"))
+	i.reply.Log(strings.TrimSuffix(fmt.Sprintln(append([]any{message}, args...)...), "\n"))
 }
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -45,7 +45,7 @@
 
 func at(i uint32) []byte { return rec(27, i) }
 
-func begin(text string) []byte { return rec(16, uint64(5), uint32(len(text)), text) }
+func startRecord(text string) []byte { return rec(16, uint64(5), uint32(len(text)), text) }
 
 // manifest conveys list 0.
 func manifest(ids ...uint32) []byte {
@@ -97,7 +97,7 @@
 }
 
 func TestRequestIsDelivered(t *testing.T) {
-	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(11, 12), members(0, 3),
+	out, stderr, err := drive(t, batch(7, 1000, at(3), startRecord(settings), manifest(11, 12), members(0, 3),
 		request(5, 500_000)))
 	if err != nil || stderr != "" {
 		t.Fatal(stderr, err)
@@ -108,10 +108,10 @@
 	}
 }
 
-func TestStopAndBeginInOneBatch(t *testing.T) {
+func TestStopAndStartInOneBatch(t *testing.T) {
 	out, _, err := drive(t,
-		batch(1, 1000, at(3), begin(settings), manifest(11), members(0, 3), request(5, 500_000)),
-		batch(2, 2000, at(3), rec(25), begin(settings), manifest(12), members(0, 3), answer(5, 11, 500, 0),
+		batch(1, 1000, at(3), startRecord(settings), manifest(11), members(0, 3), request(5, 500_000)),
+		batch(2, 2000, at(3), rec(25), startRecord(settings), manifest(12), members(0, 3), answer(5, 11, 500, 0),
 			request(6, 500_000)))
 	if err != nil {
 		t.Fatal(err)
@@ -123,13 +123,13 @@
 	}
 }
 
-func TestInstancesActAlikeTogetherAndAlone(t *testing.T) {
+func TestInstancesAreIndependent(t *testing.T) {
 	script := func(instances ...uint32) [][]byte {
 		var all [][]byte
 		var records [][]byte
 		records = append(records, manifest(11, 12, 13))
 		for _, i := range instances {
-			records = append(records, at(i), begin(settings), members(0, 3))
+			records = append(records, at(i), startRecord(settings), members(0, 3))
 		}
 		all = append(all, batch(1, 1000, records...))
 		for n := range uint64(30) {
@@ -176,7 +176,7 @@
 }
 
 func TestBadInputEndsTheProcess(t *testing.T) {
-	good := batch(1, 1000, at(3), begin(settings))
+	good := batch(1, 1000, at(3), startRecord(settings))
 	for _, c := range []struct {
 		name  string
 		input []byte
@@ -198,7 +198,7 @@
 }
 
 func TestUnknownEventIsReportedOnce(t *testing.T) {
-	_, stderr, err := drive(t, batch(1, 1000, rec(99, uint32(1)), rec(99), at(3), begin(settings)))
+	_, stderr, err := drive(t, batch(1, 1000, rec(99, uint32(1)), rec(99), at(3), startRecord(settings)))
 	if err != nil || strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, "event 99") {
 		t.Errorf("%q %v", stderr, err)
 	}
@@ -209,7 +209,7 @@
 		strings.Replace(settings, "repeat=pure", "repeat=never", 1),
 		strings.Replace(settings, "target=250000", "target=-1", 1),
 	} {
-		out, _, err := drive(t, batch(1, 1000, at(3), begin(text)))
+		out, _, err := drive(t, batch(1, 1000, at(3), startRecord(text)))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -41,7 +41,7 @@
 	})
 }
 
-func (t *settingsText) whole(key string, def int64) int64 {
+func (t *settingsText) integer(key string, def int64) int64 {
 	return get(t, key, def, "a whole number", func(s string) (int64, error) {
 		return strconv.ParseInt(s, 10, 64)
 	})
@@ -53,9 +53,9 @@
 }
 
 // word returns the meaning of a word; what an unlisted word means is an error.
-func word[T any](t *settingsText, key string, def T, words map[string]T) T {
+func keyword[T any](t *settingsText, key string, def T, meanings map[string]T) T {
 	return get(t, key, def, "a known word", func(s string) (T, error) {
-		if v, ok := words[s]; ok {
+		if v, ok := meanings[s]; ok {
 			return v, nil
 		}
 		return def, strconv.ErrSyntax
@@ -67,7 +67,7 @@
 	if _, ok := t.pairs[key+".count"]; !ok && required && t.err == nil {
 		t.err = &balancer.SettingError{Key: key + ".count", Value: "", Reason: "is missing"}
 	}
-	n := t.whole(key+".count", 0)
+	n := t.integer(key+".count", 0)
 	if n < 0 || n > 256 {
 		if t.err == nil {
 			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10), Reason: "out of range"}
@@ -91,14 +91,14 @@
 }
 
 // items counts the comma-separated items of a list of plain values.
-func items(text string) int {
+func itemCount(text string) int {
 	if text == "" {
 		return 0
 	}
 	return strings.Count(text, ",") + 1
 }
 
-var fieldNames = map[string]balancer.LoadMetric{
+var loadMetrics = map[string]balancer.LoadMetric{
 	"busy_reqs": balancer.MetricInflight, "pending": balancer.MetricQueueLength, "cpu_share": balancer.MetricUtilization,
 	"svc_ms": balancer.MetricLatency, "served_ps": balancer.MetricServedRate, "failed_ps": balancer.MetricErrorRate,
 }
@@ -120,32 +120,32 @@
 		t.pairs[key] = value
 	}
 	s := balancer.Settings{
-		Balancers:    int(t.whole("peers-total", 1)),
-		Position:     int(t.whole("position", 0)),
-		Zone:         int(t.whole("zone", 0)),
-		ZoneCount:    items(t.pairs["areas"]),
-		MachineKinds: items(t.pairs["skus"]),
-		Subscribe:    word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
-		Tick:         t.whole("tick", 0),
+		Balancers:    int(t.integer("peers-total", 1)),
+		Position:     int(t.integer("position", 0)),
+		Zone:         int(t.integer("zone", 0)),
+		ZoneCount:    itemCount(t.pairs["areas"]),
+		MachineKinds: itemCount(t.pairs["skus"]),
+		Subscribe:    keyword(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
+		Tick:         t.integer("tick", 0),
 		Limits: balancer.Limits{
 			Cancel:          t.flag("limits.cancel"),
 			Probes:          t.flag("limits.probes"),
 			Hedging:         t.flag("limits.second-copies"),
 			RetryAfter:      t.flag("limits.retry-after"),
 			Gossip:          t.flag("limits.may-tell"),
-			MaxAttempts:     int(t.whole("limits.most-tries", 1)),
-			MaxOpenRequests: int(t.whole("limits.most-held", math.MaxInt32)),
-			MaxRetryAfter:   t.whole("limits.max-retry-after", 0),
-			DialTimeout:     t.whole("limits.dial-timeout", 0),
+			MaxAttempts:     int(t.integer("limits.most-tries", 1)),
+			MaxOpenRequests: int(t.integer("limits.most-held", math.MaxInt32)),
+			MaxRetryAfter:   t.integer("limits.max-retry-after", 0),
+			DialTimeout:     t.integer("limits.dial-timeout", 0),
 		},
 		Contract: balancer.Contract{
-			DrainGrace:          t.whole("contract.drain-grace", 0),
+			DrainGrace:          t.integer("contract.drain-grace", 0),
 			WarmupStartCapacity: t.number("contract.cold-from", 1),
-			WarmupTime:          t.whole("contract.ramp-time", 0),
+			WarmupTime:          t.integer("contract.ramp-time", 0),
 			CollapseMultiple:    t.number("contract.fall-multiple", 1),
-			CollapseAfter:       t.whole("contract.overload-for", 0),
-			PollInterval:        t.whole("contract.ask-within", 10_000_000),
-			AnswerSlack:         t.whole("contract.answer-slack", 0),
+			CollapseAfter:       t.integer("contract.overload-for", 0),
+			PollInterval:        t.integer("contract.ask-within", 10_000_000),
+			AnswerSlack:         t.integer("contract.answer-slack", 0),
 		},
 		Prices: balancer.Prices{
 			CrossZone: t.number("prices.cross-zone", 0),
@@ -160,13 +160,13 @@
 			WorstTenant: t.number("goal.worst-tenant", 0),
 		},
 		OverQuotaWeight: t.number("over-share-worth", 1),
-		WeightByWork: word(t, "value-by", false,
+		WeightByWork: keyword(t, "value-by", false,
 			map[string]bool{"request": false, "work": true}),
 	}
-	how := word(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
+	how := keyword(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
 	if fields := t.pairs["reporting.fields"]; how != "none" && fields != "" {
 		for _, f := range strings.Split(fields, ",") {
-			s.LoadMetrics = append(s.LoadMetrics, fieldNames[f])
+			s.LoadMetrics = append(s.LoadMetrics, loadMetrics[f])
 		}
 	}
 	for i := range t.count("classes", true) {
@@ -178,13 +178,13 @@
 		}
 		s.Classes = append(s.Classes, balancer.Class{
 			Name: t.pairs[at+"name"],
-			Idempotency: word(t, at+"repeat", balancer.NonIdempotent, map[string]balancer.Idempotency{
+			Idempotency: keyword(t, at+"repeat", balancer.NonIdempotent, map[string]balancer.Idempotency{
 				"pure": balancer.Idempotent, "token": balancer.IdempotentByKey, "side_effect": balancer.NonIdempotent}),
-			DedupScope: word(t, at+"group", balancer.DedupCell, map[string]balancer.DedupScope{
+			DedupScope: keyword(t, at+"group", balancer.DedupCell, map[string]balancer.DedupScope{
 				"all": balancer.DedupAll, "zone": balancer.DedupZone, "cell": balancer.DedupCell}),
-			DedupWindow:      t.whole(at+"window", 0),
-			LatencyObjective: t.whole(at+"target", 0),
-			ClientTimeout:    t.whole(at+"give-up", 0),
+			DedupWindow:      t.integer(at+"window", 0),
+			LatencyObjective: t.integer(at+"target", 0),
+			ClientTimeout:    t.integer(at+"give-up", 0),
 			PriorityWeight:   t.number(at+"credit", 1),
 			LateWeight:       t.number(at+"late-value", 0),
 			Streaming:        t.flag(at + "stream"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,42 +18,42 @@
 
 // Codes of events.
 const (
-	Begin             Code = 16
-	Membership        Code = 17
-	Request           Code = 18
-	Headers           Code = 19
-	Answer            Code = 20
-	CancelledByClient Code = 21
-	TimeoutFired      Code = 22
-	HealthResult      Code = 23
-	Whisper           Code = 24
-	Stop              Code = 25
-	Manifest          Code = 26
-	Instance          Code = 27
+	EventStart        Code = 16
+	EventEndpointList Code = 17
+	EventRequest      Code = 18
+	EventHeaders      Code = 19
+	EventOutcome      Code = 20
+	EventClientGone   Code = 21
+	EventTimer        Code = 22
+	EventProbe        Code = 23
+	EventGossip       Code = 24
+	EventStop         Code = 25
+	EventEntries      Code = 26
+	EventInstance     Code = 27
 )
 
 // Codes of actions.
 const (
-	Deliver   Code = 80
-	Decline   Code = 81
-	Fail      Code = 82
-	Revoke    Code = 83
-	Arm       Code = 84
-	SoundOut  Code = 85
-	LetGo     Code = 86
-	WritePeer Code = 87
-	Trace     Code = 88
-	Exception Code = 89
-	Track     Code = 90
-	ListAll   Code = 91
-	As        Code = 92
+	ActionSend      Code = 80
+	ActionReject    Code = 81
+	ActionFail      Code = 82
+	ActionCancel    Code = 83
+	ActionSetTimer  Code = 84
+	ActionProbe     Code = 85
+	ActionRelease   Code = 86
+	ActionGossip    Code = 87
+	ActionLog       Code = 88
+	ActionException Code = 89
+	ActionWatch     Code = 90
+	ActionListAll   Code = 91
+	ActionInstance  Code = 92
 )
 
 var eventNames = map[Code]string{
-	Begin: "begin", Membership: "membership", Request: "request", Headers: "headers",
-	Answer: "answer", CancelledByClient: "cancelled_by_client", TimeoutFired: "timeout_fired",
-	HealthResult: "health_result", Whisper: "whisper", Stop: "stop", Manifest: "manifest",
-	Instance: "instance",
+	EventStart: "begin", EventEndpointList: "membership", EventRequest: "request", EventHeaders: "headers",
+	EventOutcome: "answer", EventClientGone: "cancelled_by_client", EventTimer: "timeout_fired",
+	EventProbe: "health_result", EventGossip: "whisper", EventStop: "stop", EventEntries: "manifest",
+	EventInstance: "instance",
 }
 
 // String returns the event's name on the wire.
@@ -65,12 +65,12 @@
 }
 
 const (
-	batchHeader = 16
-	replyHeader = 12
-	recHeader   = 5
-	entrySize   = 21
-	lists       = 16
-	maxFrame    = 1 << 30
+	batchHeader  = 16
+	replyHeader  = 12
+	recordHeader = 5
+	entrySize    = 21
+	maxLists     = 16
+	maxFrameSize = 1 << 30
 )
 
 // FrameError says which record is malformed and at which byte of its frame.
@@ -99,7 +99,7 @@
 		return nil, &FrameError{"batch header", n, "input ends inside it"}
 	}
 	size := int(binary.BigEndian.Uint32(buf[4:]))
-	if size < batchHeader || size > maxFrame {
+	if size < batchHeader || size > maxFrameSize {
 		return nil, &FrameError{"batch header", 4, fmt.Sprintf("frame size %d is out of range", size)}
 	}
 	for have := batchHeader; have < size; {
@@ -127,8 +127,8 @@
 	Offset   int    // of the record in its frame
 	Instance uint32 // Instance
 	Seed     uint64 // Begin
-	Config   string // Begin
-	Kind     balancer.ListKind
+	Settings string // Begin
+	ListKind balancer.ListKind
 	Entries  []balancer.Endpoint // Membership
 	Request  balancer.Request
 	Outcome  balancer.Outcome // Answer; Headers and CancelledByClient set parts of it
@@ -137,24 +137,24 @@
 	Status   balancer.Status
 	Latency  monotime.Micros
 	Load     []float32
-	From     uint16 // Whisper
-	Data     []byte
+	Peer     uint16 // Whisper
+	Message  []byte
 }
 
 // Decoder reads the records of batches. It keeps the numbered lists, which
 // outlive a batch.
 type Decoder struct {
-	frame   []byte
-	at      int
-	rec     []byte
-	recAt   int
-	recName string
-	off     int
-	err     error
-
-	lists [lists][]balancer.Endpoint
-	known [lists]bool
-	load  []float32
+	frame        []byte
+	frameOffset  int
+	record       []byte
+	recordStart  int
+	recordName   string
+	recordOffset int
+	err          error
+
+	lists    [maxLists][]balancer.Endpoint
+	conveyed [maxLists]bool
+	load     []float32
 }
 
 // Reset starts on a frame from ReadFrame and returns its number and clock.
@@ -165,53 +165,53 @@
 	if size := int(binary.BigEndian.Uint32(frame[4:])); size != len(frame) {
 		return 0, 0, &FrameError{"batch header", 4, fmt.Sprintf("size %d but %d bytes", size, len(frame))}
 	}
-	d.frame, d.at = frame, batchHeader
+	d.frame, d.frameOffset = frame, batchHeader
 	return binary.BigEndian.Uint32(frame), monotime.Micros(binary.BigEndian.Uint64(frame[8:])), nil
 }
 
 func (d *Decoder) fail(reason string) {
 	if d.err == nil {
-		d.err = &FrameError{d.recName, d.recAt + d.off, reason}
+		d.err = &FrameError{d.recordName, d.recordStart + d.recordOffset, reason}
 	}
 }
 
 // take returns the next n bytes of the record, or nil after an error.
-func (d *Decoder) take(n int) []byte {
+func (d *Decoder) next(n int) []byte {
 	if d.err != nil {
 		return nil
 	}
-	if n < 0 || len(d.rec)-d.off < n {
-		d.fail(fmt.Sprintf("needs %d more bytes, has %d", n, len(d.rec)-d.off))
+	if n < 0 || len(d.record)-d.recordOffset < n {
+		d.fail(fmt.Sprintf("needs %d more bytes, has %d", n, len(d.record)-d.recordOffset))
 		return nil
 	}
-	p := d.rec[d.off : d.off+n]
-	d.off += n
+	p := d.record[d.recordOffset : d.recordOffset+n]
+	d.recordOffset += n
 	return p
 }
 
 func (d *Decoder) u8() uint8 {
-	if p := d.take(1); p != nil {
+	if p := d.next(1); p != nil {
 		return p[0]
 	}
 	return 0
 }
 
 func (d *Decoder) u16() uint16 {
-	if p := d.take(2); p != nil {
+	if p := d.next(2); p != nil {
 		return binary.BigEndian.Uint16(p)
 	}
 	return 0
 }
 
 func (d *Decoder) u32() uint32 {
-	if p := d.take(4); p != nil {
+	if p := d.next(4); p != nil {
 		return binary.BigEndian.Uint32(p)
 	}
 	return 0
 }
 
 func (d *Decoder) u64() uint64 {
-	if p := d.take(8); p != nil {
+	if p := d.next(8); p != nil {
 		return binary.BigEndian.Uint64(p)
 	}
 	return 0
@@ -238,15 +238,15 @@
 		return balancer.NotSent
 	}
 	if d.err == nil {
-		d.off -= 2
+		d.recordOffset -= 2
 		d.fail(fmt.Sprintf("unknown status %d", code))
 	}
 	return balancer.Error
 }
 
-func (d *Decoder) loads() []float32 {
+func (d *Decoder) loadReport() []float32 {
 	n := int(d.u8())
-	p := d.take(4 * n)
+	p := d.next(4 * n)
 	d.load = d.load[:0]
 	for i := 0; i+4 <= len(p); i += 4 {
 		d.load = append(d.load, math.Float32frombits(binary.BigEndian.Uint32(p[i:])))
@@ -257,86 +257,86 @@
 // Next decodes one record into e. It returns io.EOF after the last one. A
 // record of an unknown code is returned with its code alone.
 func (d *Decoder) Next(e *Event) error {
-	left := len(d.frame) - d.at
+	left := len(d.frame) - d.frameOffset
 	if left == 0 {
 		return io.EOF
 	}
-	d.recAt, d.recName, d.off, d.err = d.at, "record", 0, nil
-	if left < recHeader {
-		d.fail(fmt.Sprintf("a record header needs %d bytes, has %d", recHeader, left))
+	d.recordStart, d.recordName, d.recordOffset, d.err = d.frameOffset, "record", 0, nil
+	if left < recordHeader {
+		d.fail(fmt.Sprintf("a record header needs %d bytes, has %d", recordHeader, left))
 		return d.err
 	}
-	code := Code(d.frame[d.at])
-	d.recName = code.String()
-	size := int(binary.BigEndian.Uint32(d.frame[d.at+1:]))
-	if size > left-recHeader {
-		d.off = 1
-		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, left-recHeader))
+	code := Code(d.frame[d.frameOffset])
+	d.recordName = code.String()
+	size := int(binary.BigEndian.Uint32(d.frame[d.frameOffset+1:]))
+	if size > left-recordHeader {
+		d.recordOffset = 1
+		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, left-recordHeader))
 		return d.err
 	}
-	d.rec, d.off = d.frame[d.at:d.at+recHeader+size], recHeader
-	e.Code, e.Offset = code, d.at
+	d.record, d.recordOffset = d.frame[d.frameOffset:d.frameOffset+recordHeader+size], recordHeader
+	e.Code, e.Offset = code, d.frameOffset
 	switch code {
-	case Begin:
+	case EventStart:
 		e.Seed = d.u64()
-		e.Config = string(d.take(int(d.u32())))
-	case Manifest:
-		d.manifest()
-	case Membership:
+		e.Settings = string(d.next(int(d.u32())))
+	case EventEntries:
+		d.entries()
+	case EventEndpointList:
 		d.u32()
-		d.membership(e)
-	case Request:
+		d.endpointList(e)
+	case EventRequest:
 		r := &e.Request
 		r.ID, r.IdempotencyKey, r.Deadline, r.WorkHint = d.u64(), d.u64(), monotime.Micros(d.u64()), monotime.Micros(d.u32())
 		opts := d.u8()
 		r.HasWorkHint, r.Retry, r.Write = opts&1 != 0, opts&2 != 0, opts&4 != 0
 		r.Tenant, r.Class = d.u16(), d.u8()
-	case Headers:
+	case EventHeaders:
 		o := &e.Outcome
 		o.ID, o.Attempt, o.Endpoint, o.Latency = d.u64(), int(d.u16()), d.u32(), monotime.Micros(d.u32())
-	case Answer:
+	case EventOutcome:
 		o := &e.Outcome
 		o.ID, o.Attempt, o.Endpoint = d.u64(), int(d.u16()), d.u32()
 		o.Status, o.Latency, o.Answered = d.status(), monotime.Micros(d.u32()), d.u8() != 0
-		o.Load = d.loads()
-	case CancelledByClient:
+		o.Load = d.loadReport()
+	case EventClientGone:
 		e.Outcome.ID = d.u64()
-	case TimeoutFired:
+	case EventTimer:
 		e.Token = d.u32()
-	case HealthResult:
+	case EventProbe:
 		e.Endpoint, e.Status, e.Latency = d.u32(), d.status(), monotime.Micros(d.u32())
-		e.Load = d.loads()
-	case Whisper:
-		e.From = d.u16()
-		e.Data = d.take(int(d.u16()))
-	case Stop:
-	case Instance:
+		e.Load = d.loadReport()
+	case EventGossip:
+		e.Peer = d.u16()
+		e.Message = d.next(int(d.u16()))
+	case EventStop:
+	case EventInstance:
 		e.Instance = d.u32()
 	default:
-		d.off = len(d.rec)
+		d.recordOffset = len(d.record)
 	}
-	if d.err == nil && d.off < len(d.rec) {
-		d.fail(fmt.Sprintf("%d bytes too many", len(d.rec)-d.off))
+	if d.err == nil && d.recordOffset < len(d.record) {
+		d.fail(fmt.Sprintf("%d bytes too many", len(d.record)-d.recordOffset))
 	}
-	d.at += len(d.rec)
+	d.frameOffset += len(d.record)
 	return d.err
 }
 
 func (d *Decoder) listNumber() int {
 	n := int(d.u8())
-	if n >= lists && d.err == nil {
-		d.off--
-		d.fail(fmt.Sprintf("list number %d is over %d", n, lists-1))
+	if n >= maxLists && d.err == nil {
+		d.recordOffset--
+		d.fail(fmt.Sprintf("list number %d is over %d", n, maxLists-1))
 		return 0
 	}
 	return n
 }
 
-func (d *Decoder) manifest() {
+func (d *Decoder) entries() {
 	id := d.listNumber()
 	n := int(d.u32())
-	if d.err == nil && n*entrySize > len(d.rec)-d.off {
-		d.off -= 4
+	if d.err == nil && n*entrySize > len(d.record)-d.recordOffset {
+		d.recordOffset -= 4
 		d.fail(fmt.Sprintf("%d entries overrun the record", n))
 	}
 	if d.err != nil {
@@ -354,38 +354,38 @@
 		case 3:
 			e.State = balancer.Gone
 		default:
-			d.off--
+			d.recordOffset--
 			d.fail(fmt.Sprintf("unknown endpoint status %d", state))
 		}
 		e.Share = math.Float32frombits(d.u32())
 		e.StartTime = monotime.Micros(d.u64())
 		list = append(list, e)
 	}
-	d.lists[id], d.known[id] = list, true
+	d.lists[id], d.conveyed[id] = list, true
 }
 
-func (d *Decoder) membership(e *Event) {
+func (d *Decoder) endpointList(e *Event) {
 	id := d.u8()
 	e.Entries = nil
 	switch kind := d.u8(); kind {
 	case 0:
-		e.Kind = balancer.ListDelta
+		e.ListKind = balancer.ListDelta
 	case 4:
-		e.Kind = balancer.ListFull
+		e.ListKind = balancer.ListFull
 	case 3:
-		e.Kind = balancer.ListCached
+		e.ListKind = balancer.ListCached
 	case 2:
-		e.Kind = balancer.ListFailed
+		e.ListKind = balancer.ListFailed
 		return
 	default:
-		d.off--
+		d.recordOffset--
 		d.fail(fmt.Sprintf("unknown kind %d", kind))
 	}
 	if d.err != nil {
 		return
 	}
-	if id >= lists || !d.known[id] {
-		d.off -= 2
+	if id >= maxLists || !d.conveyed[id] {
+		d.recordOffset -= 2
 		d.fail(fmt.Sprintf("list number %d has not been conveyed", id))
 		return
 	}
@@ -394,111 +394,111 @@
 
 // Reply builds the answer to one batch. It reuses its buffer.
 type Reply struct {
-	buf   []byte
-	count uint32
+	frame   []byte
+	records uint32
 }
 
 // Reset starts the reply to a batch.
 func (w *Reply) Reset(batch uint32) {
-	w.buf = binary.BigEndian.AppendUint32(w.buf[:0], batch)
-	w.buf = append(w.buf, 0, 0, 0, 0, 0, 0, 0, 0)
-	w.count = 0
+	w.frame = binary.BigEndian.AppendUint32(w.frame[:0], batch)
+	w.frame = append(w.frame, 0, 0, 0, 0, 0, 0, 0, 0)
+	w.records = 0
 }
 
 // Bytes completes the frame.
 func (w *Reply) Bytes() []byte {
-	binary.BigEndian.PutUint32(w.buf[4:], uint32(len(w.buf)))
-	binary.BigEndian.PutUint32(w.buf[8:], w.count)
-	return w.buf
+	binary.BigEndian.PutUint32(w.frame[4:], uint32(len(w.frame)))
+	binary.BigEndian.PutUint32(w.frame[8:], w.records)
+	return w.frame
 }
 
-func (w *Reply) rec(c Code, size int) {
-	w.count++
-	w.buf = append(w.buf, byte(c))
+func (w *Reply) startRecord(c Code, size int) {
+	w.records++
+	w.frame = append(w.frame, byte(c))
 	w.u32(uint32(size))
 }
 
-func (w *Reply) u16(v uint16) { w.buf = binary.BigEndian.AppendUint16(w.buf, v) }
-func (w *Reply) u32(v uint32) { w.buf = binary.BigEndian.AppendUint32(w.buf, v) }
-func (w *Reply) u64(v uint64) { w.buf = binary.BigEndian.AppendUint64(w.buf, v) }
+func (w *Reply) u16(v uint16) { w.frame = binary.BigEndian.AppendUint16(w.frame, v) }
+func (w *Reply) u32(v uint32) { w.frame = binary.BigEndian.AppendUint32(w.frame, v) }
+func (w *Reply) u64(v uint64) { w.frame = binary.BigEndian.AppendUint64(w.frame, v) }
 
 func (w *Reply) micros(v monotime.Micros) { w.u32(uint32(min(max(v, 0), math.MaxUint32))) }
 
 // As names the instance that issues the following actions.
-func (w *Reply) As(instance uint32) { w.rec(As, 4); w.u32(instance) }
+func (w *Reply) Instance(instance uint32) { w.startRecord(ActionInstance, 4); w.u32(instance) }
 
 // Deliver writes a deliver record.
-func (w *Reply) Deliver(id uint64, endpoint uint32, timeout monotime.Micros) {
-	w.rec(Deliver, 16)
+func (w *Reply) Send(id uint64, endpoint uint32, timeout monotime.Micros) {
+	w.startRecord(ActionSend, 16)
 	w.u64(id)
 	w.u32(endpoint)
 	w.micros(timeout)
 }
 
 // Decline writes a decline record.
-func (w *Reply) Decline(id uint64, retryIn monotime.Micros) {
-	w.rec(Decline, 12)
+func (w *Reply) Reject(id uint64, retryIn monotime.Micros) {
+	w.startRecord(ActionReject, 12)
 	w.u64(id)
 	w.micros(retryIn)
 }
 
 // Fail writes a fail record.
-func (w *Reply) Fail(id uint64) { w.rec(Fail, 8); w.u64(id) }
+func (w *Reply) Fail(id uint64) { w.startRecord(ActionFail, 8); w.u64(id) }
 
 // Revoke writes a revoke record.
-func (w *Reply) Revoke(id uint64, attempt int) {
-	w.rec(Revoke, 10)
+func (w *Reply) Cancel(id uint64, attempt int) {
+	w.startRecord(ActionCancel, 10)
 	w.u64(id)
 	w.u16(uint16(attempt))
 }
 
 // Arm writes an arm record.
-func (w *Reply) Arm(delay monotime.Micros, token uint32) {
-	w.rec(Arm, 8)
+func (w *Reply) SetTimer(delay monotime.Micros, token uint32) {
+	w.startRecord(ActionSetTimer, 8)
 	w.micros(delay)
 	w.u32(token)
 }
 
 // SoundOut writes a sound_out record.
-func (w *Reply) SoundOut(endpoint uint32) { w.rec(SoundOut, 4); w.u32(endpoint) }
+func (w *Reply) Probe(endpoint uint32) { w.startRecord(ActionProbe, 4); w.u32(endpoint) }
 
 // LetGo writes a let_go record.
-func (w *Reply) LetGo(endpoint uint32) { w.rec(LetGo, 4); w.u32(endpoint) }
+func (w *Reply) Release(endpoint uint32) { w.startRecord(ActionRelease, 4); w.u32(endpoint) }
 
 // AllPeers addresses WritePeer to every peer.
 const AllPeers uint32 = math.MaxUint32
 
 // WritePeer writes a write_peer record; data beyond 256 bytes is cut off.
-func (w *Reply) WritePeer(peer uint32, data []byte) {
+func (w *Reply) Gossip(peer uint32, data []byte) {
 	data = data[:min(len(data), 256)]
-	w.rec(WritePeer, 6+len(data))
+	w.startRecord(ActionGossip, 6+len(data))
 	w.u32(peer)
 	w.u16(uint16(len(data)))
-	w.buf = append(w.buf, data...)
+	w.frame = append(w.frame, data...)
 }
 
 func (w *Reply) text(c Code, line string) {
 	line = line[:min(len(line), math.MaxUint16)]
-	w.rec(c, 2+len(line))
+	w.startRecord(c, 2+len(line))
 	w.u16(uint16(len(line)))
-	w.buf = append(w.buf, line...)
+	w.frame = append(w.frame, line...)
 }
 
 // Trace writes a trace record.
-func (w *Reply) Trace(line string) { w.text(Trace, line) }
+func (w *Reply) Log(line string) { w.text(ActionLog, line) }
 
 // Exception writes an exception record.
-func (w *Reply) Exception(line string) { w.text(Exception, line) }
+func (w *Reply) Exception(line string) { w.text(ActionException, line) }
 
 // Track writes a track record.
-func (w *Reply) Track(on bool) {
-	w.rec(Track, 1)
+func (w *Reply) Watch(on bool) {
+	w.startRecord(ActionWatch, 1)
 	if on {
-		w.buf = append(w.buf, 1)
+		w.frame = append(w.frame, 1)
 	} else {
-		w.buf = append(w.buf, 0)
+		w.frame = append(w.frame, 0)
 	}
 }
 
 // ListAll writes a list_all record.
-func (w *Reply) ListAll() { w.rec(ListAll, 0) }
+func (w *Reply) ListAll() { w.startRecord(ActionListAll, 0) }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -89,10 +89,10 @@
 	if h := e[2]; h.Endpoint != 0x2c9011f2 || h.Latency != 1400 || len(h.Load) != 3 || h.Load[0] != 7 || h.Load[1] != 140 {
 		t.Errorf("health_result %+v", h)
 	}
-	if w := e[3]; w.From != 2 || string(w.Data) != "hi 7" {
+	if w := e[3]; w.Peer != 2 || string(w.Message) != "hi 7" {
 		t.Errorf("whisper %+v", w)
 	}
-	if m := e[5]; m.Kind != balancer.ListCached || len(m.Entries) != 2 || m.Entries[1].Share != 1.5 ||
+	if m := e[5]; m.ListKind != balancer.ListCached || len(m.Entries) != 2 || m.Entries[1].Share != 1.5 ||
 		m.Entries[1].Zone != 1 || m.Entries[1].StartTime != 0x5d1420 {
 		t.Errorf("membership %+v", m)
 	}
@@ -105,11 +105,11 @@
 		t.Errorf("empty reply %x", got)
 	}
 	w.Reset(12)
-	w.As(3)
-	w.Deliver(0x5bf975d3a91c4, 0x3124a07, 80000)
-	w.Arm(500000, 77)
-	w.As(5)
-	w.Trace("two servers known")
+	w.Instance(3)
+	w.Send(0x5bf975d3a91c4, 0x3124a07, 80000)
+	w.SetTimer(500000, 77)
+	w.Instance(5)
+	w.Log("two servers known")
 	want := unhex(t, "0000000c 00000058 00000005 5c 00000004 00000003",
 		"50 00000010 0005bf975d3a91c4 03124a07 00013880 54 00000008 0007a120 0000004d",
 		"5c 00000004 00000005 58 00000013 0011 74776f2073657276657273206b6e6f776e")
@@ -117,14 +117,14 @@
 		t.Errorf("got  %x\nwant %x", got, want)
 	}
 	w.Reset(0)
-	w.Decline(0xbf5a10e6f2b19, 250000)
+	w.Reject(0xbf5a10e6f2b19, 250000)
 	w.Fail(0xbf5a10e6f2b19)
-	w.Revoke(0x5bf975d3a91c4, 0)
-	w.SoundOut(0x2c9011f2)
-	w.LetGo(0x2c9011f2)
-	w.WritePeer(AllPeers, []byte("hi 7"))
+	w.Cancel(0x5bf975d3a91c4, 0)
+	w.Probe(0x2c9011f2)
+	w.Release(0x2c9011f2)
+	w.Gossip(AllPeers, []byte("hi 7"))
 	w.Exception("index out of range")
-	w.Track(true)
+	w.Watch(true)
 	w.ListAll()
 	want = unhex(t, "51 0000000c 000bf5a10e6f2b19 0003d090 52 00000008 000bf5a10e6f2b19",
 		"53 0000000a 0005bf975d3a91c4 0000 55 00000004 2c9011f2 56 00000004 2c9011f2",
@@ -138,8 +138,8 @@
 func TestNumbersOutOfRangeAreClamped(t *testing.T) {
 	var w Reply
 	w.Reset(0)
-	w.Arm(-5, 1)
-	w.Arm(math.MaxInt64, 1)
+	w.SetTimer(-5, 1)
+	w.SetTimer(math.MaxInt64, 1)
 	b := w.Bytes()[replyHeader:]
 	if binary.BigEndian.Uint32(b[5:]) != 0 || binary.BigEndian.Uint32(b[18:]) != math.MaxUint32 {
 		t.Errorf("%x", b)
@@ -156,10 +156,10 @@
 		t.Errorf("%+v", e)
 	}
 	e = decode(t, d, frame(unhex(t, "11 00000006 00000029 00 04", "11 00000006 00000029 09 02")))
-	if e[0].Kind != balancer.ListFull || e[0].Entries[0].ID != 2 {
+	if e[0].ListKind != balancer.ListFull || e[0].Entries[0].ID != 2 {
 		t.Error("the list does not outlive its batch")
 	}
-	if e[1].Kind != balancer.ListFailed || e[1].Entries != nil {
+	if e[1].ListKind != balancer.ListFailed || e[1].Entries != nil {
 		t.Error("a failed call must not need a list")
 	}
 }
