--- a/cmd/simhost/golden_test.go
+++ b/cmd/simhost/golden_test.go
@@ -85,7 +85,8 @@
 	random := rand.New(rand.NewPCG(seed, 3))
 	settings := fmt.Sprintf(goldenSettings, discovery, probes)
 	entries := []entry{{id: 11}, {id: 12}, {id: 13}, {id: 14}, {id: 15}, {id: 16}}
-	batches := [][]byte{batch(1, 1000, list(0, entries), at(1), startRecord(settings), members(0, 3), at(2), startRecord(settings),
+	batches := [][]byte{batch(1, 1000, list(0, entries), at(1), startRecord(settings), members(0, 3), at(2),
+		startRecord(settings),
 		members(0, 3))}
 	statuses := []uint16{200, 200, 200, 200, 500, 503, 504, 502, 598, 499, 410}
 	now := uint64(1000)
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -82,7 +82,8 @@
 		case wire.EventEntries:
 			continue
 		case wire.EventInstance:
-			current, named = e.Instance, true
+			current = e.Instance
+			named = true
 			h.reply.Instance(current)
 			continue
 		}
@@ -164,7 +165,7 @@
 	i.reply.Send(id, endpoint, timeout)
 }
 
-// Refuse writes a decline record.
+// Reject writes a decline record.
 func (i *instance) Reject(id uint64, retryAfter monotime.Micros) { i.reply.Reject(id, retryAfter) }
 
 // Fail writes a fail record.
@@ -173,7 +174,7 @@
 // Cancel writes a revoke record.
 func (i *instance) Cancel(id uint64, attempt int) { i.reply.Cancel(id, attempt) }
 
-// Timer writes an arm record.
+// SetTimer writes an arm record.
 func (i *instance) SetTimer(delay monotime.Micros, token uint32) { i.reply.SetTimer(delay, token) }
 
 // Probe writes a sound_out record.
@@ -182,7 +183,7 @@
 // Watch writes a track record.
 func (i *instance) Watch(on bool) { i.reply.Watch(on) }
 
-// Log writes a trace record.
+// Log writes a trace record: the message, then keys and values.
 func (i *instance) Log(message string, args ...any) {
 	i.reply.Log(strings.TrimSuffix(fmt.Sprintln(append([]any{message}, args...)...), "\n"))
 }
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -62,8 +62,8 @@
 	return rec(18, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
 }
 
-func answer(id uint64, endpoint uint32, status uint16, settled uint8) []byte {
-	return rec(20, id, uint16(0), endpoint, status, uint32(3000), settled, uint8(0))
+func answer(id uint64, endpoint uint32, status uint16, answered uint8) []byte {
+	return rec(20, id, uint16(0), endpoint, status, uint32(3000), answered, uint8(0))
 }
 
 func drive(t *testing.T, batches ...[]byte) (out, stderr string, err error) {
--- /dev/null
+++ b/internal/wire/codes.go
@@ -0,0 +1,62 @@
+package wire
+
+import "fmt"
+
+// Code is the number of a record on the wire: an event from the simulator, or an action of the reply.
+type Code uint8
+
+// Codes of events. Their names on the wire are in eventNames.
+const (
+	EventStart        Code = 16
+	EventEndpointList Code = 17
+	EventRequest      Code = 18
+	EventHeaders      Code = 19
+	EventOutcome      Code = 20
+	EventClientGone   Code = 21
+	EventTimer        Code = 22
+	EventProbe        Code = 23
+	EventGossip       Code = 24
+	EventStop         Code = 25
+	EventEntries      Code = 26
+	EventInstance     Code = 27
+)
+
+// Codes of actions. Their names on the wire stand beside the methods of Reply.
+const (
+	ActionSend      Code = 80
+	ActionReject    Code = 81
+	ActionFail      Code = 82
+	ActionCancel    Code = 83
+	ActionSetTimer  Code = 84
+	ActionProbe     Code = 85
+	ActionRelease   Code = 86
+	ActionGossip    Code = 87
+	ActionLog       Code = 88
+	ActionException Code = 89
+	ActionWatch     Code = 90
+	ActionListAll   Code = 91
+	ActionInstance  Code = 92
+)
+
+var eventNames = map[Code]string{
+	EventStart:        "begin",
+	EventEndpointList: "membership",
+	EventRequest:      "request",
+	EventHeaders:      "headers",
+	EventOutcome:      "answer",
+	EventClientGone:   "cancelled_by_client",
+	EventTimer:        "timeout_fired",
+	EventProbe:        "health_result",
+	EventGossip:       "whisper",
+	EventStop:         "stop",
+	EventEntries:      "manifest",
+	EventInstance:     "instance",
+}
+
+// String returns the event's name on the wire.
+func (c Code) String() string {
+	if name, ok := eventNames[c]; ok {
+		return name
+	}
+	return fmt.Sprintf("event %d", uint8(c))
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -74,7 +74,8 @@
 		t.Fatalf("frame changed: %v", err)
 	}
 	e := decode(t, new(Decoder), f)
-	want := balancer.Request{ID: 0x5bf975d3a91c4, IdempotencyKey: 0x91f03b7c55d20a64, Deadline: 0x8405da, WorkHint: 12000, HasWorkHint: true}
+	want := balancer.Request{ID: 0x5bf975d3a91c4, IdempotencyKey: 0x91f03b7c55d20a64, Deadline: 0x8405da,
+		WorkHint: 12000, HasWorkHint: true}
 	if len(e) != 5 || e[0].Instance != 3 || e[1].Request != want || e[2].Token != 77 || e[3].Instance != 5 ||
 		e[4].Outcome.ID != 0xbf5a10e6f2b19 {
 		t.Errorf("decoded %+v", e)
@@ -86,7 +87,8 @@
 	if o := e[1].Outcome; o.Status != balancer.OK || o.Latency != 0x4844 || !o.Answered || len(o.Load) != 0 {
 		t.Errorf("answer %+v", o)
 	}
-	if h := e[2]; h.Endpoint != 0x2c9011f2 || h.Latency != 1400 || len(h.Load) != 3 || h.Load[0] != 7 || h.Load[1] != 140 {
+	if h := e[2]; h.Endpoint != 0x2c9011f2 || h.Latency != 1400 || len(h.Load) != 3 || h.Load[0] != 7 ||
+		h.Load[1] != 140 {
 		t.Errorf("health_result %+v", h)
 	}
 	if w := e[3]; w.Peer != 2 || string(w.Message) != "hi 7" {
@@ -177,7 +179,8 @@
 		{"list not conveyed", "11 00000006 00000029 04 03", "membership", "not been conveyed"},
 		{"bad list kind", "11 00000006 00000029 00 07", "membership", "unknown kind 7"},
 		{"bad status", "14 00000016 0005bf975d3a91c4 0000 03124a07 00c9 00004844 01 00", "answer", "status 201"},
-		{"bad state", "1a 0000001a 00 00000001 00000001 00 00 0000 02 3f800000 0000000000000000", "manifest", "status 2"},
+		{"bad state", "1a 0000001a 00 00000001 00000001 00 00 0000 02 3f800000 0000000000000000", "manifest",
+			"status 2"},
 		{"whisper overruns", "18 00000008 0002 0005 68692037", "whisper", "needs 5"},
 	} {
 		d := new(Decoder)
@@ -187,7 +190,8 @@
 		var e Event
 		err := d.Next(&e)
 		var bad *FrameError
-		if !errors.As(err, &bad) || bad.Record != c.record || !strings.Contains(bad.Reason, c.reason) || bad.Offset < batchHeader {
+		if !errors.As(err, &bad) || bad.Record != c.record || !strings.Contains(bad.Reason, c.reason) ||
+			bad.Offset < batchHeader {
 			t.Errorf("%s: %v", c.name, err)
 		}
 	}
@@ -270,18 +274,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(s.Classes) != 2 || s.Classes[1].Idempotency != balancer.IdempotentByKey || s.Classes[1].DedupScope != balancer.DedupZone ||
-		s.Classes[1].DedupWindow != 400000 || !s.Subscribe || !s.WeightByWork || s.ZoneCount != 2 || s.Limits.MaxAttempts != 3 ||
+	if len(s.Classes) != 2 || s.Classes[1].Idempotency != balancer.IdempotentByKey ||
+		s.Classes[1].DedupScope != balancer.DedupZone ||
+		s.Classes[1].DedupWindow != 400000 || !s.Subscribe || !s.WeightByWork || s.ZoneCount != 2 ||
+		s.Limits.MaxAttempts != 3 ||
 		s.Goal.Overall != 0.6 || s.Tenants[0].Quota != 137 || s.Prices.Probe != 0.002 {
 		t.Errorf("%+v", s)
 	}
-	if len(s.LoadMetrics) != 3 || s.LoadMetrics[0] != balancer.MetricInflight || s.LoadMetrics[2] != balancer.MetricUnknown {
+	if len(s.LoadMetrics) != 3 || s.LoadMetrics[0] != balancer.MetricInflight ||
+		s.LoadMetrics[2] != balancer.MetricUnknown {
 		t.Errorf("fields %v", s.LoadMetrics)
 	}
 	if _, err := balancer.New(s, 1, nil); err != nil {
 		t.Errorf("the constructor refuses them: %v", err)
 	}
-	if s, err = ParseSettings(strings.Replace(goodSettings, "how=probe", "how=none", 1)); err != nil || s.LoadMetrics != nil {
+	if s, err = ParseSettings(strings.Replace(goodSettings, "how=probe", "how=none", 1)); err != nil ||
+		s.LoadMetrics != nil {
 		t.Errorf("no reports: %v %v", s.LoadMetrics, err)
 	}
 }
