--- a/balancer/hold_test.go
+++ b/balancer/hold_test.go
@@ -137,7 +137,8 @@
 	// At work 40 ms the fleet has 32 core-seconds a second to do: 0.78 for each endpoint.
 	fair := balancers * perSecond * work / endpoints
 	if share := sent / fair; share < 0.05 || share > 0.5 {
-		t.Errorf("the warming endpoint was sent %.2f of a warm one's work in its first second, at 0.2 of its capacity", share)
+		t.Errorf("the warming endpoint was sent %.2f of a warm one's work in its first second, at 0.2 of its capacity",
+			share)
 	}
 }
 
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -245,8 +245,8 @@
 		avg := func() Average { return Average{odd(), odd()} }
 		l := &LearnedState{RequestRate: odd(), SentWorkRate: odd(), RejectedRatio: odd(), MeanWork: Average{5000, 1},
 			FleetServiceTimeRatio: avg(), LatencyTrend: odd(), HintTrust: odd(),
-			LateReportRatio: avg(), TypicalLoad: avg(), ServiceTime: avg(), ReportWatchTime: odd(), ReportChanges: odd(),
-			TenantRates: []float64{odd(), odd()}}
+			LateReportRatio: avg(), TypicalLoad: avg(), ServiceTime: avg(), ReportWatchTime: odd(),
+			ReportChanges: odd(), TenantRates: []float64{odd(), odd()}}
 		for range rng.IntN(7) {
 			l.Classes = append(l.Classes, LearnedClass{avg(), odd(), avg()})
 		}
