--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -234,7 +234,7 @@
 		ClientTimeout:    t.integer(prefix+"give-up", 0),
 		PriorityWeight:   t.number(prefix+"credit", 1),
 		LateWeight:       t.number(prefix+"late-value", 0),
-		Streaming:        t.flag(prefix+"stream"),
+		Streaming:        t.flag(prefix + "stream"),
 	}
 }
 
