--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -53,7 +53,7 @@
 		t.Error("a removed connection was marked busy")
 	}
 	x.Remove(open[1]) // once more, as the caller may
-	if all, busy := x.Len(); all != 4 || busy != 0 {
+	if all, busy := x.Counts(); all != 4 || busy != 0 {
 		t.Errorf("%d connections, %d busy; want 4, 0", all, busy)
 	}
 
@@ -185,7 +185,7 @@
 				seed, i, all, busy, o.maxConnections, count[o])
 		}
 	}
-	all, held := x.Len()
+	all, held := x.Counts()
 	overLimits := all > x.limits.MaxConnections || len(idle) > x.limits.MaxIdle
 	if all != len(idle)+len(busy) || held != len(busy) || overLimits {
 		t.Fatalf("seed %d: %d connections, %d busy; counted %d and %d; limits %+v",
@@ -269,13 +269,13 @@
 	if _, closed = x.Add(7, o, 6); closed != open[3] { // over the owner's limit: 2 was idle longest
 		t.Fatalf("evicted: %+v", closed)
 	}
-	if all, busy := x.Len(); all != 5 || busy != 2 {
+	if all, busy := x.Counts(); all != 5 || busy != 2 {
 		t.Errorf("%d connections, %d busy; want 5, 2", all, busy)
 	}
 	if !x.MarkBusy(open[0]) || !x.MarkBusy(open[2]) {
 		t.Error("a connection with an unread request was not marked busy")
 	}
-	if _, busy := x.Len(); busy != 2 {
+	if _, busy := x.Counts(); busy != 2 {
 		t.Errorf("%d busy, want 2", busy)
 	}
 	unread[4], unread[5] = true, true
@@ -290,7 +290,7 @@
 	}
 	x.MarkIdle(20_000, open[0])
 	x.Remove(open[2])
-	if all, busy := x.Len(); all != 3 || busy != 2 { // 4 and 5 are busy
+	if all, busy := x.Counts(); all != 3 || busy != 2 { // 4 and 5 are busy
 		t.Errorf("%d connections, %d busy; want 3, 2", all, busy)
 	}
 }
--- a/internal/decide/connlimit/table.go
+++ b/internal/decide/connlimit/table.go
@@ -44,8 +44,8 @@
 	o.maxBytes = maxBytes
 }
 
-// Len returns how many connections the table holds, and how many of them have an open request.
-func (t *Table[T]) Len() (all, busy int) { return t.busy + t.idle, t.busy }
+// Counts returns how many connections the table holds, and how many of them have an open request.
+func (t *Table[T]) Counts() (all, busy int) { return t.busy + t.idle, t.busy }
 
 // Add takes in a new connection of an owner, which is idle until its first request is complete. It returns the
 // connection that is to be closed in its place, if any. If the limits leave no place for the new one, it
--- a/internal/decide/fairqueue/fairqueue.go
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -45,11 +45,11 @@
 
 // The reasons.
 const (
-	None              Reason = iota
-	WouldMissDeadline        // no answer could be in time by the time its turn comes
-	ClientAtLimit            // its client has ClientSpec.MaxOpen requests open
-	ClientOverRate           // its client is over ClientSpec.Rate
-	TotalAtLimit             // SharedLimit.Max requests are open
+	None               Reason = iota
+	WouldMissDeadline         // no answer could be in time by the time its turn comes
+	ClientAtLimit             // its client has ClientSpec.MaxOpen requests open
+	ClientOverRate            // its client is over ClientSpec.Rate
+	SharedLimitReached        // SharedLimit.Max requests are open
 )
 
 var reasonTexts = [...]string{
--- a/internal/decide/fairqueue/fairqueue_test.go
+++ b/internal/decide/fairqueue/fairqueue_test.go
@@ -424,7 +424,7 @@
 	expect(few, ClientAtLimit)
 	expect(any, None)
 	expect(any, None)
-	expect(any, TotalAtLimit)
+	expect(any, SharedLimitReached)
 	w.runUntil(second)
 	expect(few, None)
 	expect(fast, None)
@@ -509,7 +509,7 @@
 	enqueue(x[1], a, Decision{ID: 1, Action: Reject, Reason: ClientAtLimit})
 	enqueue(x[1], b, queued)
 	enqueue(x[0], b, queued)
-	enqueue(x[0], b, Decision{ID: 1, Action: Reject, Reason: TotalAtLimit})
+	enqueue(x[0], b, Decision{ID: 1, Action: Reject, Reason: SharedLimitReached})
 	if w, in := a.Counts(); w != 1 || in != 2 {
 		t.Errorf("a has %d waiting and %d in flight", w, in)
 	}
--- a/internal/decide/fairqueue/scheduler.go
+++ b/internal/decide/fairqueue/scheduler.go
@@ -83,7 +83,7 @@
 		return
 	}
 	if shared := x.settings.Shared; shared.Max > 0 && shared.open >= shared.Max {
-		x.reject(r.ID, TotalAtLimit, x.queueDelay(flow, 0))
+		x.reject(r.ID, SharedLimitReached, x.queueDelay(flow, 0))
 		return
 	}
 	cost := x.estimates[r.Class].mean
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -120,7 +120,7 @@
 func (f *Front) Conns() (all, busy int) {
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	return f.conns.table.Len()
+	return f.conns.table.Counts()
 }
 
 // Accept serves connections until ln is closed, or until a deadline that was set on it.
