Name the gossip transport's parts: messages, stats, queues

Tell, Hear, Figures, spoilt, carry and the like become Send, HandleMessage, Stats, malformed, transmit, in package peers and where others use it.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -87,14 +87,14 @@
 				alive++
 			}
 		}
-		w := p.Figures()
+		w := p.Stats()
 		line("peers_alive", uint64(alive))
 		line("peers_lent", map[bool]uint64{true: 1}[f.QuotaLeased])
 		line("peers_suspects", uint64(f.SuspectedEndpoints))
 		line("peers_words_sent", w.Sent)
-		line("peers_words_heard", w.Heard)
+		line("peers_words_heard", w.Received)
 		line("peers_words_dropped", w.Dropped)
-		line("peers_words_spoilt", w.Spoilt)
+		line("peers_words_spoilt", w.Malformed)
 		line("peers_bytes_sent", w.Bytes)
 	}
 	return []byte(b.String()), nil
--- a/internal/daemon/together.go
+++ b/internal/daemon/together.go
@@ -28,7 +28,7 @@
 	t.NextIncarnation = rand.Uint64
 	t.Send = func(to string, w words.Message) {
 		if p := d.gossip.Load(); p != nil { // else it is one that has not begun, or has given its place away
-			p.Tell(to, w)
+			p.Send(to, w)
 		}
 	}
 	return d.core.JoinFleet(*t)
@@ -43,7 +43,7 @@
 	if !c.On || d.gossip.Load() != nil {
 		return nil
 	}
-	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, Via: c.Via(), Log: d.log, Hear: d.core.ReceiveFleetMessage}
+	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, DialVia: c.Via(), Log: d.log, HandleMessage: d.core.ReceiveFleetMessage}
 	if x := d.consensus; x != nil {
 		o.HandleConsensus = x.receive
 	}
@@ -78,7 +78,7 @@
 	Name    string         `json:"Name"`
 	Members []peers.Member `json:"Members"`
 	Fleet   words.View     `json:"Fleet"`
-	Words   peers.Figures  `json:"Words"`
+	Words   peers.Stats    `json:"Words"`
 }
 
 // view returns it, as JSON.
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("what is known is not to be had in time: %w", err)
 	}
-	return json.Marshal(View{d.config.Name, p.Members(), v, p.Figures()})
+	return json.Marshal(View{d.config.Name, p.Members(), v, p.Stats()})
 }
 
 // spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in microseconds, which all its
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -284,7 +284,7 @@
 	}
 	var mu sync.Mutex // guards m
 	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Candidates)], Log: slog.New(slog.DiscardHandler),
-		Hear: func(from string, w coordination.Message) {
+		HandleMessage: func(from string, w coordination.Message) {
 			mu.Lock()
 			defer mu.Unlock()
 			m.Receive(clock.BootTime(), from, w)
@@ -313,7 +313,7 @@
 						o.Message.Request.Demands[i].Requested, o.Message.Request.Demands[i].Contributed = times, times
 					}
 				}
-				p.Tell(o.To, o.Message)
+				p.Send(o.To, o.Message)
 			}
 		}
 	})
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -60,7 +60,7 @@
 		"consensus": {From: "instance-1", To: "instance-2", Consensus: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
 	}
 	for name, w := range words {
-		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Word: w}
+		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Message: w}
 	}
 	return envelopes
 }
@@ -93,7 +93,7 @@
 			if e.Consensus != nil {
 				return
 			}
-			encoded, err = Encode(e.From, e.To, e.Word)
+			encoded, err = Encode(e.From, e.To, e.Message)
 			if want := readGolden(t, filepath.Join("messages", name+".cbor")); err != nil || !bytes.Equal(encoded, want) {
 				t.Errorf("Encode returns %x, %v, want %x", encoded, err, want)
 			}
@@ -103,7 +103,7 @@
 
 // A field that is added to a message without a value here would go untested.
 func TestGoldenMessagesFillEachField(t *testing.T) {
-	requireFilled(t, "envelope", reflect.ValueOf(goldenEnvelopes()["all-parts"].Word))
+	requireFilled(t, "envelope", reflect.ValueOf(goldenEnvelopes()["all-parts"].Message))
 }
 
 func requireFilled(t *testing.T, path string, v reflect.Value) {
@@ -134,7 +134,7 @@
 func TestJSONForOperatorsKeepsItsForm(t *testing.T) {
 	for name, v := range map[string]any{
 		"member.json":  Member{Name: "instance-1", Address: "127.0.0.1:7", Alive: true, Since: time.Unix(1_700_000_000, 0).UTC()},
-		"figures.json": Figures{Sent: 1, Heard: 2, Bytes: 3, Dropped: 4, Spoilt: 5},
+		"figures.json": Stats{Sent: 1, Received: 2, Bytes: 3, Dropped: 4, Malformed: 5},
 	} {
 		encoded, err := json.Marshal(v)
 		if err != nil {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,20 +14,20 @@
 	"dunlinsail/internal/fake/freeport"
 )
 
-type heard struct {
-	from string
-	word coordination.Message
+type receivedMessage struct {
+	from    string
+	message coordination.Message
 }
 
 // start starts an instance at an address of its own, with what it hears.
-func start(t *testing.T, name, of string, join ...string) (*Peers, string, chan heard) {
+func start(t *testing.T, name, of string, join ...string) (*Peers, string, chan receivedMessage) {
 	t.Helper()
 	addr, err := freeport.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := make(chan heard, 100)
-	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), Hear: func(from string, w coordination.Message) { all <- heard{from, w} }})
+	all := make(chan receivedMessage, 100)
+	p, err := Start(Options{Name: name, Fleet: of, Address: addr, Join: join, Log: slog.New(slog.DiscardHandler), HandleMessage: func(from string, w coordination.Message) { all <- receivedMessage{from, w} }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,10 +67,10 @@
 		large.Observations.Outcomes = append(large.Observations.Outcomes, observations.OutcomeCount{Endpoint: fmt.Sprint("endpoint-", i), Succeeded: float64(i)})
 	}
 	for _, w := range []coordination.Message{small, large} {
-		b.Tell("a", w)
+		b.Send("a", w)
 		select {
 		case h := <-hears:
-			if h.from != "b" || fmt.Sprint(h.word.Request.Demands) != fmt.Sprint(w.Request.Demands) || w.Observations != nil && len(h.word.Observations.Outcomes) != 200 {
+			if h.from != "b" || fmt.Sprint(h.message.Request.Demands) != fmt.Sprint(w.Request.Demands) || w.Observations != nil && len(h.message.Observations.Outcomes) != 200 {
 				t.Errorf("heard %+v", h)
 			}
 		case <-time.After(20 * time.Second):
@@ -81,7 +81,7 @@
 		t.Error("two fleets mix")
 	}
 	(*delegate)(a).NotifyMsg([]byte(strings.Repeat("\xff", 50)))
-	if f := a.Figures(); f.Spoilt != 1 || f.Heard != 2 {
+	if f := a.Stats(); f.Malformed != 1 || f.Received != 2 {
 		t.Errorf("%+v", f)
 	}
 	a.Close(true)
