Rename what package discovery declares to standard terms

Need: names such as Told, Teller, muteAfter, keep and once are not those of a watch client that a Go engineer would guess. Change: a type-aware rename, over all callers; nothing else.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -190,7 +190,7 @@
 	s.stops = append(s.stops, stop)
 	var entries []discovery.Instance
 	for i, a := range addrs {
-		entries = append(entries, discovery.Instance{ID: fmt.Sprint("s-", i), Addr: a, Zone: "a", Kind: "m1", Cell: 1,
+		entries = append(entries, discovery.Instance{ID: fmt.Sprint("s-", i), Address: a, Zone: "a", Kind: "m1", Cell: 1,
 			Lifecycle: "up", Weight: 1})
 	}
 	r, err := discoveryserver.Start(entries...)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -36,7 +36,7 @@
 // newPool adds a pool to the core. begin starts the source of its list.
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
 	p := &pool{config: conf}
-	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.Unlisted},
+	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.NoGeneration},
 		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
 		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
 		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) }, Watch: func(bool) {}}
@@ -49,13 +49,13 @@
 	default:
 		p.firstWatcher = d.watcher(p, conf.Discovery)
 		if subscribe {
-			p.source = discovery.Once(p.firstWatcher, func() {
+			p.source = discovery.NewPolledSource(p.firstWatcher, func() {
 				p.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
 			})
 		} else {
-			p.source = discovery.Keep(p.firstWatcher)
+			p.source = discovery.NewContinuousSource(p.firstWatcher)
 		}
-		c.Watch = p.source.Watch
+		c.Watch = p.source.SetWatching
 	}
 	var err error
 	p.endpoints, err = d.core.NewPool(c)
@@ -64,7 +64,7 @@
 
 // watcher returns a watcher of a discovery that tells a pool. It asks for the whole list first.
 func (d *generation) watcher(p *pool, addr string) *discovery.Watcher {
-	return discovery.NewWatcher(addr, discovery.Unlisted, int(d.options.Config.Process.Memory.Bytes>>20),
+	return discovery.NewWatcher(addr, discovery.NoGeneration, int(d.options.Config.Process.Memory.Bytes>>20),
 		func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 }
 
@@ -74,7 +74,7 @@
 	case p.config.File != "":
 		p.file = endpointsource.Watch(p.config.File, endpointsource.Every, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 	case p.source != nil && !d.options.Config.Site.Settings.Subscribe:
-		p.source.Watch(true)
+		p.source.SetWatching(true)
 	}
 }
 
@@ -124,7 +124,7 @@
 			p.listGeneration++
 			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration))
 		default:
-			p.source.Move(d.watcher(p, conf.Discovery))
+			p.source.SwitchTo(d.watcher(p, conf.Discovery))
 			p.endpoints.SetSource(conf.Source())
 		}
 		after[conf.Name].config = conf
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -24,9 +24,9 @@
 func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.EndpointUpdate {
 	told := make(chan engine.EndpointUpdate, 16)
 	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
-	w.Mute, w.Answer = mute, scriptedpeer.Soon // a busy machine is no silence
-	s := discovery.Keep(w)
-	s.Watch(true)
+	w.SilenceTimeout, w.ResponseTimeout = mute, scriptedpeer.Soon // a busy machine is no silence
+	s := discovery.NewContinuousSource(w)
+	s.SetWatching(true)
 	t.Cleanup(s.Close)
 	return told
 }
@@ -139,8 +139,8 @@
 	}
 	for name, silence := range silences {
 		for mode, source := range map[string]func(w *discovery.Watcher) *discovery.Source{
-			"kept":  discovery.Keep,
-			"asked": func(w *discovery.Watcher) *discovery.Source { return discovery.Once(w, func() {}) },
+			"kept":  discovery.NewContinuousSource,
+			"asked": func(w *discovery.Watcher) *discovery.Source { return discovery.NewPolledSource(w, func() {}) },
 		} {
 			if mode == "asked" && name != "after its head" {
 				continue // a call that fails is the balancer's to make again
@@ -161,7 +161,7 @@
 				}
 				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
 				s := source(w)
-				s.Watch(true)
+				s.SetWatching(true)
 				t.Cleanup(s.Close)
 				scriptedpeer.Within(t, told, "first list")
 				from := <-silent
--- a/internal/endpointsource/membership.go
+++ b/internal/endpointsource/membership.go
@@ -32,7 +32,7 @@
 type File struct {
 	path  string
 	every time.Duration
-	tell  discovery.Teller
+	tell  discovery.UpdateFunc
 	log   *slog.Logger
 
 	seen       []byte
@@ -51,7 +51,7 @@
 
 // Watch reads a file at once and then as often as it is told, until Close. A file that cannot be read or makes no sense
 // is logged, once until that changes, and the list before it stays: an editor or a copy may be half done.
-func Watch(path string, every time.Duration, tell discovery.Teller, log *slog.Logger) *File {
+func Watch(path string, every time.Duration, tell discovery.UpdateFunc, log *slog.Logger) *File {
 	f := &File{path: path, every: every, tell: tell, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -101,7 +101,7 @@
 	f.generation++
 	l.Generation, l.Reset = f.generation, true
 	f.log.Info("file of endpoints read", "file", f.path, "endpoints", len(l.Instances))
-	f.tell(ctx, l.Told())
+	f.tell(ctx, l.EndpointUpdate())
 }
 
 func (f *File) read() ([]byte, error) {
@@ -126,7 +126,7 @@
 	names := map[string]bool{}
 	for i, in := range l.Instances {
 		switch {
-		case in.ID == "" || in.Addr == "":
+		case in.ID == "" || in.Address == "":
 			return fmt.Errorf("instance %d has no instanceId or no hostPort", i)
 		case names[in.ID]:
 			return fmt.Errorf("instanceId %q stands twice", in.ID)
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -344,7 +344,7 @@
 // entry is an endpoint's entry for an instance.
 func (r *run) entry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
 	p := &r.plan.Nodes[n]
-	e := discovery.Instance{ID: p.Name, Addr: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.Nodes[p.Kind].Kind,
+	e := discovery.Instance{ID: p.Name, Address: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.Nodes[p.Kind].Kind,
 		Cell: uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
 	if started > 0 {
 		e.StartedMs = r.time(started).UnixMilli()
--- a/internal/fake/scripteddiscovery/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -78,5 +78,5 @@
 
 // Up returns the entry of an endpoint that serves.
 func Up(id, addr string) discovery.Instance {
-	return discovery.Instance{ID: id, Addr: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
+	return discovery.Instance{ID: id, Address: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -151,7 +151,7 @@
 	}
 	// Without a list that was held, the first one that comes names what has long been there: an empty one would make all of
 	// it look just started, and cold.
-	c.Known = discovery.List{Generation: discovery.Unlisted}
+	c.Known = discovery.List{Generation: discovery.NoGeneration}
 	if file.Known != nil {
 		c.Known = *file.Known
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -71,7 +71,7 @@
 
 // A sidecar that was told no list holds none: an empty one would make the endpoints of the first list look just started.
 func TestNoListKnown(t *testing.T) {
-	for known, want := range map[string]int64{"": discovery.Unlisted, `"known":{"generation":4,"instances":[]},`: 4} {
+	for known, want := range map[string]int64{"": discovery.NoGeneration, `"known":{"generation":4,"instances":[]},`: 4} {
 		c, err := Parse([]byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",`+known+`"settings":`+settings+`}`), func(string) string { return "" })
 		if err != nil || c.Known.Generation != want {
 			t.Errorf("known %q: %+v, %v; want generation %d", known, c, err, want)
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -184,7 +184,7 @@
 		return nil, err
 	}
 	s.Faults(taken)
-	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Addr: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
+	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Address: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
 		Lifecycle: "up", Weight: 1}
 	if o.Warm > 0 {
 		e.StartedMs = time.Now().UnixMilli()
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -29,7 +29,7 @@
 		s.log.Info("configuration read again", "moved", moved, "discovery", c.FileDiscovery)
 		if moved {
 			s.endpoints.SetSource(c.FileDiscovery)
-			s.source.Move(s.watchDiscovery(c.FileDiscovery, discovery.Unlisted))
+			s.source.SwitchTo(s.watchDiscovery(c.FileDiscovery, discovery.NoGeneration))
 		}
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -768,7 +768,7 @@
 			}()
 			scriptedpeer.Within(t, dialing, "dial")
 			tc.news.Generation = 8
-			s.parts.endpoints.UpdateEndpoints(context.Background(), tc.news.Told())
+			s.parts.endpoints.UpdateEndpoints(context.Background(), tc.news.EndpointUpdate())
 			if tc.wait {
 				<-time.After(time.Duration(cfg.Site.Settings.Contract.DrainGrace) * time.Microsecond)
 			}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -151,15 +151,15 @@
 	w := s.watchDiscovery(c.Discovery, c.Known.Generation)
 	s.firstWatcher = w
 	if c.Site.Settings.Subscribe {
-		s.source = discovery.Once(w, func() {
+		s.source = discovery.NewPolledSource(w, func() {
 			s.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
 		})
 	} else {
-		s.source = discovery.Keep(w)
+		s.source = discovery.NewContinuousSource(w)
 	}
 	var err error
 	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observer: observe})
-	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.Told(), Watch: s.source.Watch}
+	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.EndpointUpdate(), Watch: s.source.SetWatching}
 	if c.Overload {
 		o := overload.DefaultSettings()
 		o.Instances = c.Site.Settings.Balancers
@@ -185,10 +185,10 @@
 func (s *sidecar) watchDiscovery(addr string, after int64) *discovery.Watcher {
 	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.updateEndpoints, s.log)
 	if s.events != nil {
-		w.Asked = s.events.Asked
+		w.OnRequest = s.events.Asked
 	}
 	if !s.config.Site.Settings.Subscribe {
-		w.Answer, w.Wait = agentAnswerTimeout, agentPollWait
+		w.ResponseTimeout, w.MaxBackoff = agentAnswerTimeout, agentPollWait
 	}
 	return w
 }
@@ -209,7 +209,7 @@
 		beside.Go(func() { s.core.Run(ctx) })
 		beside.Go(func() { s.pool.Keep(ctx) })
 		if !s.config.Site.Settings.Subscribe {
-			s.source.Watch(true)
+			s.source.SetWatching(true)
 		}
 	}
 	defer s.source.Close()
