Document siteconfig and clock, drop a second name of the microsecond type; break long lines

clock.Micros64 was one more name of monotime.Micros, used by one file. Comments of siteconfig and clock said what the packages know in place of what they are for. Lines over 120 columns in engine and core are broken.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-// Package clock is the one clock of a process: what all its packages tell instants by.
+// Package clock is the one clock of a process: all its packages read instants from it. An instant is in microseconds
+// (monotime.Micros), and counts from the Unix epoch.
 package clock
 
 import (
@@ -9,43 +10,47 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Clock tells instants in microseconds: Unix time at its start, monotonic from there, so that a step of the
-// system's clock moves no deadline.
+// Clock reads instants: Unix time at its start, monotonic from there, so that a step of the system clock moves no
+// deadline. It is safe for concurrent use.
 type Clock struct {
-	start time.Time
-	boot  monotime.Micros // the host's time since it came up, at the start; 0 where that is not looked at
+	start       time.Time
+	startUptime monotime.Micros // BootTime at the start; 0 is a clock that does not count while the host sleeps
 }
 
-// New returns a clock that starts now.
+// New returns a clock that starts now. It may stand still while the host sleeps, as CLOCK_MONOTONIC does.
 func New() Clock { return Clock{start: time.Now()} }
 
-// Sleepless returns a clock that starts now, and goes on while the host sleeps: what ends by it for others has ended here, too.
-func NewBootClock() Clock { return Clock{time.Now(), BootTime()} }
+// NewBootClock returns a clock that starts now and goes on while the host sleeps, as CLOCK_BOOTTIME does: a lease that
+// has expired for others has then expired here, too. Where the host has no such clock, it is as New returns it.
+func NewBootClock() Clock { return Clock{start: time.Now(), startUptime: BootTime()} }
 
 // Now returns the present instant.
 func (c Clock) Now() monotime.Micros {
-	if c.boot != 0 {
-		return c.start.UnixMicro() + BootTime() - c.boot
+	if c.startUptime != 0 {
+		return c.start.UnixMicro() + BootTime() - c.startUptime
 	}
 	return c.start.UnixMicro() + time.Since(c.start).Microseconds()
 }
 
-// Boot returns the time since the host came up, its sleep included, in microseconds. All processes of the host read the same; 0
-// is that it cannot be had.
+// clockBoottime is CLOCK_BOOTTIME of clock_gettime(2).
+const clockBoottime = 7
+
+// nanosPerMicro converts nanoseconds to microseconds.
+const nanosPerMicro = 1000
+
+// BootTime returns the time since the host started, its sleep included. All processes of the host read the same; 0 is
+// that the host does not tell.
 func BootTime() monotime.Micros {
-	const clockBoottime = 7 // clock_gettime(2)
 	var t syscall.Timespec
-	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockBoottime, uintptr(unsafe.Pointer(&t)), 0); errno != 0 {
+	_, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockBoottime, uintptr(unsafe.Pointer(&t)), 0)
+	if errno != 0 {
 		return 0
 	}
-	return t.Nano() / 1000
+	return t.Nano() / nanosPerMicro
 }
 
-// Micros64 is an instant or a duration in microseconds, as Now returns them.
-type Micros64 = monotime.Micros
-
-// Micros turns a duration into the decisions' unit.
+// Micros converts a duration to microseconds, towards zero.
 func Micros(d time.Duration) monotime.Micros { return d.Microseconds() }
 
-// Duration turns the decisions' unit into a duration.
+// Duration converts microseconds to a duration.
 func Duration(m monotime.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -92,7 +92,8 @@
 	p, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
 	x := p.core
 	up := []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
-	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 6, Endpoints: up})
+	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 6,
+		Endpoints: up})
 	x.sync(t)
 	if x.Ready() {
 		t.Error("an old list brought a draining endpoint back")
@@ -254,7 +255,8 @@
 		return engine.AttemptResult{Status: balancer.Reset, At: now}
 	}
 	x.Submit(c)
-	if got := scriptedpeer.Within(t, c.Response, "answer"); got.Verdict != engine.Served || got.Result.Response != "started" {
+	got := scriptedpeer.Within(t, c.Response, "answer")
+	if got.Verdict != engine.Served || got.Result.Response != "started" {
 		t.Fatalf("answer %+v", got)
 	}
 	over := make(chan struct{})
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -10,10 +10,10 @@
 	"math/rand/v2"
 	"time"
 
-	"dunlinsail/internal/clock"
 	"dunlinsail/internal/consensus"
 	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
 )
 
 // settling is a generation's part in settling in which order machines go out for work: a goroutine of its own, since it keeps a log on
@@ -27,9 +27,9 @@
 	done       chan struct{}
 
 	facts          maintenance.FleetStatus
-	factsTime      clock.Micros64
+	factsTime      monotime.Micros
 	peak           float64
-	peakTime       clock.Micros64
+	peakTime       monotime.Micros
 	open           map[string]int
 	applied        engine.MaintenancePlan
 	replies        map[uint64]chan consensus.OperatorReply
@@ -126,7 +126,7 @@
 }
 
 // stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
-func (x *consensusMember) observeMachines(now clock.Micros64) {
+func (x *consensusMember) observeMachines(now monotime.Micros) {
 	order, _, _ := x.node.PlanFollower().CurrentPlan()
 	names := append(append([]string(nil), order.Excluded...), order.Announced...)
 	if len(names) == 0 && now < x.factsTime+observeInterval {
@@ -181,7 +181,7 @@
 var errNoLeader = errors.New("nobody leads in settling the order just now; say it again")
 
 // say says something for an operator, and waits for its answer.
-func (x *consensusMember) propose(ctx context.Context, put func(now clock.Micros64) uint64) (consensus.OperatorReply, error) {
+func (x *consensusMember) propose(ctx context.Context, put func(now monotime.Micros) uint64) (consensus.OperatorReply, error) {
 	answer := make(chan consensus.OperatorReply, 1)
 	select {
 	case x.events <- func() { x.replies[put(x.generation.clock.Now())] = answer }:
@@ -213,7 +213,7 @@
 		return nil, errors.New("work.on is false here, or this process does not serve")
 	}
 	if len(body) == 0 {
-		r, err := x.propose(ctx, func(now clock.Micros64) uint64 { return x.node.RequestView(now) })
+		r, err := x.propose(ctx, func(now monotime.Micros) uint64 { return x.node.RequestView(now) })
 		if err != nil {
 			return nil, err
 		}
@@ -224,6 +224,6 @@
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
 	order = maintenance.Command{Request: order.Request, CancelRequest: order.CancelRequest, Complete: order.Complete, Hold: order.Hold, Forget: order.Forget} // an operator says no more
-	r, err := x.propose(ctx, func(now clock.Micros64) uint64 { return x.node.Submit(now, order) })
+	r, err := x.propose(ctx, func(now monotime.Micros) uint64 { return x.node.Submit(now, order) })
 	return []byte(r.Answer), err
 }
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -39,7 +39,11 @@
 		}
 		maxInFlight = p.concurrency.Limit()
 	}
-	p.queue = fairqueue.New(fairqueue.Settings{InitialTimes: expected, MaxInFlight: maxInFlight, Shared: p.engine.openTotal})
+	p.queue = fairqueue.New(fairqueue.Settings{
+		InitialTimes: expected,
+		MaxInFlight:  maxInFlight,
+		Shared:       p.engine.openTotal,
+	})
 	return nil
 }
 
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -9,7 +9,7 @@
 type AttemptResult struct {
 	Status balancer.Status
 	At     monotime.Micros // when it was known
-	SentAt monotime.Micros // when the last byte of the request was written: latency counts from here; 0 is from the start
+	SentAt monotime.Micros // when the last byte of the request was written; 0 is StartedAt. Latency counts from it
 	Load   []float32       // the endpoint's load report, in the order of the settings; nil is none
 
 	// Response is the host's form of what the endpoint answered. It may be nil where Status is not OK.
--- a/internal/engine/cordon_test.go
+++ b/internal/engine/cordon_test.go
@@ -120,7 +120,8 @@
 		}
 	}
 	h, _, _ := newInstance(t, nil)
-	if _, known := h.engine.SetCordon(1_000*monotime.Second, "s-nobody", true, 1); known || len(h.engine.Cordons()) != 0 {
+	_, known := h.engine.SetCordon(1_000*monotime.Second, "s-nobody", true, 1)
+	if known || len(h.engine.Cordons()) != 0 {
 		t.Errorf("an endpoint that is not listed: known %v, cordons %v", known, h.engine.Cordons())
 	}
 }
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -12,11 +12,15 @@
 
 // MaintenancePlan is the part of the fleet's maintenance plan (package work) that one instance has to follow.
 type MaintenancePlan struct {
-	AwaitingPlan  bool            `json:"Wait"`  // no plan is known yet: nothing is sent to any endpoint
-	Stopped       []string        `json:"Stop"`  // endpoints that get nothing new. One that is let back in has restarted
-	Announced     []string        `json:"Ahead"` // endpoints that are next, and get nothing new once the lease has ended
-	LeaseEnd      monotime.Micros `json:"Until"`
-	DrainDeadline monotime.Micros `json:"End"` // attempts still open at endpoints of both lists are ended at this instant
+	// AwaitingPlan says that no plan is known yet: nothing is sent to any endpoint.
+	AwaitingPlan bool `json:"Wait"`
+	// Stopped are endpoints that get nothing new. One that is let back in has restarted.
+	Stopped []string `json:"Stop"`
+	// Announced are endpoints that are next, and get nothing new once the lease has ended.
+	Announced []string        `json:"Ahead"`
+	LeaseEnd  monotime.Micros `json:"Until"`
+	// DrainDeadline is when attempts that are still open at endpoints of both lists are ended.
+	DrainDeadline monotime.Micros `json:"End"`
 }
 
 // includes reports whether an endpoint is stopped or announced.
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -57,7 +57,7 @@
 // LearnedClass is what was learned of a class.
 type LearnedClass struct {
 	Name         string                `json:"Name"`
-	Fingerprint  string                `json:"Meaning"` // of its settings: what was learned holds for equal settings only
+	Fingerprint  string                `json:"Meaning"` // of its settings: learned state holds for equal ones only
 	ServiceTimes fairqueue.ServiceTime `json:"Times"`
 }
 
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -162,7 +162,8 @@
 }
 
 // observeEndpointHealth learns from the outcome of an attempt whether its endpoint is healthy.
-func (p *Pool) observeEndpointHealth(now monotime.Micros, e *Endpoint, status balancer.Status, latency monotime.Micros) {
+func (p *Pool) observeEndpointHealth(
+	now monotime.Micros, e *Endpoint, status balancer.Status, latency monotime.Micros) {
 	s := p.subset
 	if s == nil || !s.lists(e.Name) {
 		return
--- a/internal/siteconfig/site.go
+++ b/internal/siteconfig/site.go
@@ -1,6 +1,6 @@
-// Package siteconfig holds what a site's operators have settled: the settings of the decisions, and the names that
-// stand for their numbers on the sockets. It knows neither files nor sockets: what reads a configuration fills
-// it, and all else takes it as it is.
+// Package siteconfig holds what operators set for a site: the settings of the decisions, and the names that the sockets
+// use for their numbers. It must not import packages of files or sockets: what reads a configuration fills a Site in,
+// and all others take it as it is.
 package siteconfig
 
 import (
@@ -9,24 +9,27 @@
 	"dunlinsail/balancer"
 )
 
-// BodyMost is the most bytes that a body may have on the sockets (PROTOCOL).
+// MaxBodyBytes is the greatest length of a body on the sockets (PROTOCOL).
 const MaxBodyBytes = 64 << 10
 
-// AnswerMargin is kept from a client's time, so that the final answer reaches it before that is up.
+// ResponseMargin is kept from a client's deadline, so that the final response reaches the client before it.
 const ResponseMargin = 5 * time.Millisecond
 
-// Site is what one program is told of the site that it serves.
+// Site is what one program knows of the site that it serves. It must not be changed while in use.
 type Site struct {
 	Settings balancer.Settings
 
 	// Names as on the sockets, in the order of the settings.
-	Classes          []string
-	Tenants          []string
-	TenantLimits     []float64 // by tenant: requests a second over all instances that are let in at most; 0 is no limit
-	Zones            []string
-	Kinds            []string
-	LoadReportFields []string // of a load report
-
-	ReportsOnResponses bool          // answers carry load reports, too
+	Classes []string
+	Tenants []string
+	Zones   []string
+	Kinds   []string // of endpoints
+
+	// TenantLimits are the greatest rates of requests that are admitted, by tenant, in requests a second over all
+	// instances; 0 is no limit.
+	TenantLimits []float64
+
+	LoadReportFields   []string      // names of the figures of a load report, in its order
+	ReportsOnResponses bool          // responses carry load reports, too
 	KeepAlive          time.Duration // an endpoint closes a connection that has been idle for so long
 }
