--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -313,7 +313,7 @@
 		if ids := m.from[parts[0]]; ids != nil {
 			at, inList := 0, m.kinds[parts[0]].List
 			if inList && len(parts) > 1 {
-				fmt.Sscan(parts[1], &at)
+				_, _ = fmt.Sscan(parts[1], &at) // the place in a list, a number
 			}
 			if at < len(ids) && ids[at] != "" {
 				who, rest = ids[at], strings.Join(parts[1:], ".")
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -126,22 +126,22 @@
 
 var states = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
 
-// Sent notes that an attempt started.
+// AttemptStarted notes that an attempt started.
 func (l *Log) AttemptStarted(now monotime.Micros, endpoint string) {
 	l.write(Event{At: now, Kind: Sent, Endpoint: endpoint})
 }
 
-// Ended notes an attempt's outcome.
+// AttemptEnded notes an attempt's outcome.
 func (l *Log) AttemptEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Ended, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
-// Probed notes a probe's outcome.
+// ProbeEnded notes a probe's outcome.
 func (l *Log) ProbeEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
 	l.write(Event{At: now, Kind: Probed, Endpoint: endpoint, Status: statuses[s], Latency: latency})
 }
 
-// Told notes news of the list, an event for each entry. What a whole list leaves out is the reader's to see.
+// EndpointsUpdated notes an update of the endpoint list, an event for each entry. What a full list leaves out is not noted.
 func (l *Log) EndpointsUpdated(now monotime.Micros, t engine.EndpointUpdate) {
 	for _, m := range t.Endpoints {
 		l.write(Event{At: now, Kind: Told, Endpoint: m.Name, Addr: m.Addr, Status: states[m.State]})
--- a/internal/fake/xdsserver/reset.go
+++ b/internal/fake/xdsserver/reset.go
@@ -37,7 +37,7 @@
 	allowed := min(int64(len(data)), remaining)
 	c.listener.remainingBytes.Add(-allowed)
 	if allowed > 0 {
-		c.Conn.Write(data[:allowed])
+		_, _ = c.Conn.Write(data[:allowed]) // it is reset behind that anyway
 	}
 	if allowed < int64(len(data)) {
 		if tcpConn, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -349,7 +349,7 @@
 	}
 }
 
-// Silent closes the idle connections to an endpoint that were last used before an instant: one that has been
+// AttemptTimedOut closes the idle connections to an endpoint that were last used before an instant: one that has been
 // silent since then may not be the only one.
 func (to *Target) AttemptTimedOut(since time.Time) {
 	p := to.pool
