--- a/balancer/api.go
+++ b/balancer/api.go
@@ -17,7 +17,7 @@
 	ID        uint32 // the host's number for it
 	Zone      uint8
 	Kind      uint8  // of machine; no decision reads it
-	Cell      uint16 // deduplication scope within a zone (DedupCell)
+	Cell      uint16 // of its zone; a deduplication scope (DedupCell)
 	State     EndpointState
 	Share     float32         // of the service; no decision reads it
 	StartTime monotime.Micros // of its present process; 0 is long ago
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -8,6 +8,7 @@
 //
 // api.go holds events and actions, settings.go the settings, state.go the records, learned.go the state that another
 // balancer takes over. The decisions stand in lifecycle.go, membership.go, warmup.go, probes.go, admission.go,
-// pick.go, latency.go, requests.go, breaker.go and outliers.go, in that reading order. None of these may
-// import more than fmt, math, slices and strconv, or take a decision by anything but its state and the event.
+// pick.go, latency.go, requests.go, breaker.go and outliers.go, in that reading order. The package imports
+// no more than fmt, math, slices, strconv and internal/monotime, and takes no decision by anything but its state and
+// the event.
 package balancer
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -49,7 +49,7 @@
 	LatencyObjective monotime.Micros // an answer within this time counts with the full weight
 	ClientTimeout    monotime.Micros // the time that a client waits over all its attempts
 	PriorityWeight   float64         // of one request
-	LateWeight       float64         // part of the weight, 0 to 1, that a later answer counts with
+	LateWeight       float64         // part of the weight, 0 to 1, of a later answer; no decision reads it
 	Streaming        bool            // answers are streamed: HandleHeaders is called for them
 }
 
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -623,7 +623,7 @@
 	}
 	// It starts at a fifth of its work, warm in 20 s; sent 2.5 times what it can do for 2 s it falls over. In 3 s its
 	// share of 500 a second, were it warm, is 250 a second: a fifth to a third of that, times 2.5, bounds both together.
-	// It may get nothing: the warm one does it all, and looks better (balancer.TestColdEndpointIsHandedOver has it get some).
+	// It may get nothing: the warm one does it all, and looks better (balancer.TestWarmingEndpointIsHandedOver has it get some).
 	if most := 618; count > most {
 		t.Errorf("the cold endpoint got %d requests, want %d at most", count, most)
 	}
