One error of invalid settings for five decision packages

lease, overload, quota, maintenance and subset each declared a SettingError. Package setting has it once, with the component that stood before the key in four of them; all texts are as before.

--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -19,6 +19,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -32,11 +33,10 @@
 	Seed          uint64
 }
 
-// SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Reason string }
-
-// Error says which, and why.
-func (e *SettingError) Error() string { return fmt.Sprintf("lease: %s: %s", e.Key, e.Reason) }
+// invalidSetting returns the error of a setting.
+func invalidSetting(key, reason string) error {
+	return &setting.Error{Component: "lease", Key: key, Reason: reason}
+}
 
 // Longer is how long one has to wait by the own clock for a time to have passed by any.
 func ExtendForDrift(d monotime.Micros, drift float64) monotime.Micros {
@@ -101,19 +101,19 @@
 	term        Term
 }
 
-// New returns a voter whose process has just started, or a *SettingError.
+// New returns a voter whose process has just started, or a *setting.Error.
 func New(now monotime.Micros, s Settings) (*Voter, error) {
 	switch {
 	case !slices.Contains(s.Voters, s.Self):
-		return nil, &SettingError{"self", "is none of the voters"}
+		return nil, invalidSetting("self", "is none of the voters")
 	case s.Duration < 1000:
-		return nil, &SettingError{"length", "must be a millisecond at least"}
+		return nil, invalidSetting("length", "must be a millisecond at least")
 	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= 0.1):
-		return nil, &SettingError{"drift", "must be in 0..0.1"}
+		return nil, invalidSetting("drift", "must be in 0..0.1")
 	}
 	for i, name := range s.Voters {
 		if slices.Contains(s.Voters[:i], name) {
-			return nil, &SettingError{"voters", fmt.Sprintf("%q stands there twice", name)}
+			return nil, invalidSetting("voters", fmt.Sprintf("%q stands there twice", name))
 		}
 	}
 	v := &Voter{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), votesFrom: now + ExtendForDrift(s.Duration, s.MaxClockDrift)}
--- a/internal/decide/maintenance/follower.go
+++ b/internal/decide/maintenance/follower.go
@@ -41,7 +41,7 @@
 	sentAt   monotime.Micros
 }
 
-// NewFollower returns the follower of a process that has received no plan yet, or a *SettingError. Until HasPlan it
+// NewFollower returns the follower of a process that has received no plan yet, or a *setting.Error. Until HasPlan it
 // must send nothing to any machine.
 func NewFollower(s Settings, incarnation uint64) (*Follower, error) {
 	if err := s.Validate(); err != nil {
--- a/internal/decide/maintenance/settings.go
+++ b/internal/decide/maintenance/settings.go
@@ -1,9 +1,9 @@
 package maintenance
 
 import (
-	"fmt"
 	"math"
 
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -27,30 +27,26 @@
 	MaxClockDrift float64         // by what part of itself a clock's rate may be off
 }
 
-// SettingError names a setting that is out of its range.
-type SettingError struct {
-	Key    string // in the settings' table of the deploy file
-	Reason string
+// invalidSetting returns the error of a setting.
+func invalidSetting(key, reason string) error {
+	return &setting.Error{Component: "work", Key: key, Reason: reason}
 }
 
-// Error returns the setting and the reason.
-func (e *SettingError) Error() string { return fmt.Sprintf("work: %s: %s", e.Key, e.Reason) }
-
-// Validate returns a *SettingError for the first setting that is out of its range.
+// Validate returns a *setting.Error for the first setting that is out of its range.
 func (s *Settings) Validate() error {
 	switch {
 	case s.MaxOut < 1:
-		return &SettingError{"most", "must be at least 1"}
+		return invalidSetting("most", "must be at least 1")
 	case s.MaxOutPerZone < 0 || s.MaxOutPerCell < 0 || s.MaxOutPerKind < 0:
-		return &SettingError{"zone", "bounds must not be negative"}
+		return invalidSetting("zone", "bounds must not be negative")
 	case s.MaxAnnounced < s.MaxOut:
-		return &SettingError{"ahead", "must be most at least: what is out was ahead before"}
+		return invalidSetting("ahead", "must be most at least: what is out was ahead before")
 	case !(s.Headroom >= 0 && s.Headroom < 1):
-		return &SettingError{"room", "must be in 0..1, not 1"}
+		return invalidSetting("room", "must be in 0..1, not 1")
 	case s.LeaseDuration < minLeaseDuration || s.InFlightGrace < 0 || s.Warmup < 0:
-		return &SettingError{"lease", "must be 10 ms at least, and no time negative"}
+		return invalidSetting("lease", "must be 10 ms at least, and no time negative")
 	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= largestDrift):
-		return &SettingError{"drift", "must be in 0..0.1"}
+		return invalidSetting("drift", "must be in 0..0.1")
 	}
 	return nil
 }
--- a/internal/decide/maintenance/state.go
+++ b/internal/decide/maintenance/state.go
@@ -28,7 +28,7 @@
 	CommandCount      uint64              `json:"Count"` // commands applied so far
 }
 
-// NewState returns a plan in which no machine is out, or a *SettingError.
+// NewState returns a plan in which no machine is out, or a *setting.Error.
 func NewState(s Settings) (*State, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
--- a/internal/decide/overload/controller.go
+++ b/internal/decide/overload/controller.go
@@ -55,7 +55,7 @@
 	sharedLoadWeight = 0.5        // weight of the shared load against the local one
 )
 
-// New returns the controller of an instance that has just started, or a *SettingError.
+// New returns the controller of an instance that has just started, or a *setting.Error.
 func New(s Settings) (*Controller, error) {
 	if err := s.validate(); err != nil {
 		return nil, err
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -291,7 +292,7 @@
 	} {
 		s := testSettings(0, 8)
 		invalidate(&s)
-		if _, err := New(s); err == nil || err.(*SettingError).Key != key {
+		if _, err := New(s); err == nil || err.(*setting.Error).Key != key {
 			t.Errorf("%s invalid: %v", key, err)
 		}
 	}
--- a/internal/decide/overload/settings.go
+++ b/internal/decide/overload/settings.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -78,26 +79,22 @@
 	}
 }
 
-// SettingError names an invalid setting.
-type SettingError struct {
-	Key    string // of the setting
-	Reason string
+// invalidSetting returns the error of a setting.
+func invalidSetting(key, reason string) error {
+	return &setting.Error{Component: "overload", Key: key, Reason: reason}
 }
 
-// Error returns the key and the reason.
-func (e *SettingError) Error() string { return fmt.Sprintf("overload: %s: %s", e.Key, e.Reason) }
-
-// validate returns a *SettingError for the first setting that is invalid.
+// validate returns a *setting.Error for the first setting that is invalid.
 func (s *Settings) validate() error {
 	if len(s.Classes) == 0 {
-		return &SettingError{"classes", "at least one is needed"}
+		return invalidSetting("classes", "at least one is needed")
 	}
 	for i, c := range s.Classes {
 		if !(c.PriorityWeight >= 0) || c.LatencyObjective <= 0 || math.IsInf(c.PriorityWeight, 0) {
-			return &SettingError{fmt.Sprintf("classes.%d", i), "worth must not be negative, aim must be positive"}
+			return invalidSetting(fmt.Sprintf("classes.%d", i), "worth must not be negative, aim must be positive")
 		}
 	}
-	for _, setting := range []struct {
+	for _, bounded := range []struct {
 		key   string
 		value float64
 		max   float64
@@ -111,12 +108,12 @@
 		{"goal.whole", s.Goal.Overall, 1e6},
 		{"goal.worst_class", s.Goal.WorstClass, 1e6},
 	} {
-		if !(setting.value >= 0 && setting.value <= setting.max) {
-			return &SettingError{setting.key, fmt.Sprintf("must be in 0..%v", setting.max)}
+		if !(bounded.value >= 0 && bounded.value <= bounded.max) {
+			return invalidSetting(bounded.key, fmt.Sprintf("must be in 0..%v", bounded.max))
 		}
 	}
 	if s.Instances < 1 {
-		return &SettingError{"instances", "must be at least 1"}
+		return invalidSetting("instances", "must be at least 1")
 	}
 	return nil
 }
--- a/internal/decide/quota/book.go
+++ b/internal/decide/quota/book.go
@@ -57,7 +57,7 @@
 	expiresAt monotime.Micros
 }
 
-// NewBook returns a book that does not lend yet, or a *SettingError.
+// NewBook returns a book that does not lend yet, or a *setting.Error.
 func NewAllocator(s Settings) (*Allocator, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
--- a/internal/decide/quota/holder.go
+++ b/internal/decide/quota/holder.go
@@ -44,7 +44,7 @@
 	contributed float64
 }
 
-// NewHolder returns the holder of a process that has just started, or a *SettingError.
+// NewHolder returns the holder of a process that has just started, or a *setting.Error.
 func NewLessee(s Settings) (*Lessee, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
--- a/internal/decide/quota/loans.go
+++ b/internal/decide/quota/loans.go
@@ -18,9 +18,8 @@
 package quota
 
 import (
-	"fmt"
-
 	"dunlinsail/internal/decide/lease"
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -36,25 +35,24 @@
 	MaxClockDrift   float64
 }
 
-// SettingError names a setting that makes no sense.
-type SettingError struct{ Key, Reason string }
-
-// Error says which, and why.
-func (e *SettingError) Error() string { return fmt.Sprintf("loans: %s: %s", e.Key, e.Reason) }
+// invalidSetting returns the error of a setting.
+func invalidSetting(key, reason string) error {
+	return &setting.Error{Component: "loans", Key: key, Reason: reason}
+}
 
-// Check returns a *SettingError of settings that make no sense.
+// Check returns a *setting.Error of settings that make no sense.
 func (s *Settings) Check() error {
 	switch {
 	case s.MaxInstances < 1:
-		return &SettingError{"most", "must be at least 1"}
+		return invalidSetting("most", "must be at least 1")
 	case !(s.Reserve >= 0 && s.Reserve <= 1):
-		return &SettingError{"ready", "must be in 0..1"}
+		return invalidSetting("ready", "must be in 0..1")
 	case s.RequestInterval < 1000:
-		return &SettingError{"every", "must be a millisecond at least"}
+		return invalidSetting("every", "must be a millisecond at least")
 	case s.LeaseDuration < 4*s.RequestInterval:
-		return &SettingError{"length", "must be four times every at least, or a lost word ends a loan"}
+		return invalidSetting("length", "must be four times every at least, or a lost word ends a loan")
 	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= 0.1):
-		return &SettingError{"drift", "must be in 0..0.1"}
+		return invalidSetting("drift", "must be in 0..0.1")
 	}
 	return nil
 }
--- a/internal/decide/subset/set.go
+++ b/internal/decide/subset/set.go
@@ -22,7 +22,7 @@
 	members        []Member
 }
 
-// New returns a set without members, or a *SettingError.
+// New returns a set without members, or a *setting.Error.
 func New(s Settings) (*Set, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
--- a/internal/decide/subset/settings.go
+++ b/internal/decide/subset/settings.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"math"
 
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -36,22 +37,18 @@
 	EndpointProbes          float64 // a second
 }
 
-// SettingError names an invalid setting.
-type SettingError struct {
-	Key    string // of the setting
-	Reason string
+// invalidSetting returns the error of a setting.
+func invalidSetting(key, reason string) error {
+	return &setting.Error{Key: key, Reason: reason}
 }
 
-// Error returns the key and the reason.
-func (e *SettingError) Error() string { return e.Key + ": " + e.Reason }
-
-// Validate returns a *SettingError for the first setting that is invalid.
+// Validate returns a *setting.Error for the first setting that is invalid.
 func (s Settings) Validate() error {
 	if s.MinMembers < 1 {
-		return &SettingError{"least", fmt.Sprintf("%d: at least one endpoint is needed", s.MinMembers)}
+		return invalidSetting("least", fmt.Sprintf("%d: at least one endpoint is needed", s.MinMembers))
 	}
 	if s.Instances < 0 {
-		return &SettingError{"instances", fmt.Sprintf("%d is negative", s.Instances)}
+		return invalidSetting("instances", fmt.Sprintf("%d is negative", s.Instances))
 	}
 	for _, budget := range []struct {
 		key   string
@@ -61,11 +58,11 @@
 		{"probes", s.EndpointProbes},
 	} {
 		if !(budget.value >= 0) || math.IsInf(budget.value, 0) {
-			return &SettingError{budget.key, fmt.Sprintf("%v: must be a number from 0 on", budget.value)}
+			return invalidSetting(budget.key, fmt.Sprintf("%v: must be a number from 0 on", budget.value))
 		}
 		if budget.value > 0 && s.Instances == 0 {
 			reason := "is divided over the fleet's instances, and their number is not set"
-			return &SettingError{budget.key, reason}
+			return invalidSetting(budget.key, reason)
 		}
 	}
 	return nil
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"dunlinsail/internal/decide/hash64"
+	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
 
@@ -47,7 +48,7 @@
 		"idle_connections": {MinMembers: 1, EndpointIdleConnections: 3},
 		"probes":           {MinMembers: 1, Instances: 2, EndpointProbes: math.NaN()},
 	} {
-		var invalid *SettingError
+		var invalid *setting.Error
 		if _, err := New(s); !errors.As(err, &invalid) || invalid.Key != key {
 			t.Errorf("%s: %v", key, err)
 		}
