Name the gossip simulation's settings, faults and results

world, Plant, What, Of, Worst, BookOut and the like become simulation, PlantedError, Kind, Members, MaxSpent, AllocatorMessageRate, in package gossipsim and where others use it. go build ./...: ok.

--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -40,7 +40,7 @@
 	if c.Members < 1 || c.Seeds < 1 {
 		return fmt.Errorf("--members and --seeds must be positive")
 	}
-	cases := gossipsim.Cases(c.Members)
+	cases := gossipsim.HardCases(c.Members)
 	names := c.Cases
 	if len(names) == 0 {
 		names = append(slices.Sorted(maps.Keys(cases)), "random")
@@ -92,27 +92,27 @@
 	for range runtime.GOMAXPROCS(0) {
 		all.Go(func() {
 			for seed := range seeds {
-				s := gossipsim.Settings{Members: c.Members, Lenders: 3, Units: c.Units, Demand: c.Demand * c.Units, Length: c.For.Microseconds(), Seed: seed,
-					Fleet: gossipsim.Shipped(), Size: size, Faults: faults, Plant: c.Plant}
+				s := gossipsim.Settings{Members: c.Members, Candidates: 3, Units: c.Units, Demand: c.Demand * c.Units, Duration: c.For.Microseconds(), Seed: seed,
+					Coordination: gossipsim.DefaultSettings(), MessageSize: size, Faults: faults, PlantedError: c.Plant}
 				if c.Every > 0 {
-					s.Fleet.Quota.RequestInterval = c.Every.Microseconds()
-					s.Fleet.Quota.LeaseDuration = max(s.Fleet.Quota.LeaseDuration, 8*s.Fleet.Quota.RequestInterval)
-					s.Fleet.LeaseDuration = max(s.Fleet.LeaseDuration, 4*s.Fleet.Quota.RequestInterval)
+					s.Coordination.Quota.RequestInterval = c.Every.Microseconds()
+					s.Coordination.Quota.LeaseDuration = max(s.Coordination.Quota.LeaseDuration, 8*s.Coordination.Quota.RequestInterval)
+					s.Coordination.LeaseDuration = max(s.Coordination.LeaseDuration, 4*s.Coordination.Quota.RequestInterval)
 				}
 				if c.Plant == "spends as it starts" {
-					s.Fleet.Quota.Reserve = 1 // nothing lies idle where one is killed
+					s.Coordination.Quota.Reserve = 1 // nothing lies idle where one is killed
 				}
 				if name == "random" {
-					s.Faults = gossipsim.Random(seed, c.Members, s.Length)
+					s.Faults = gossipsim.RandomFaults(seed, c.Members, s.Duration)
 				}
 				r, failed := gossipsim.Run(s)
 				mu.Lock()
 				if failed != nil {
 					err = failed
 				} else {
-					t.worst, t.beyond = max(t.worst, r.Worst), t.beyond+r.Breaches
-					t.use = append(t.use, r.Use)
-					t.words, t.size, t.book, t.load = t.words+r.Words, t.size+r.Bytes, t.book+r.BookOut, t.load+r.BookSize
+					t.worst, t.beyond = max(t.worst, r.MaxSpent), t.beyond+r.UnitsExceeded
+					t.use = append(t.use, r.Utilization)
+					t.words, t.size, t.book, t.load = t.words+r.MessageRate, t.size+r.ByteRate, t.book+r.AllocatorMessageRate, t.load+r.AllocatorByteRate
 				}
 				mu.Unlock()
 			}
--- a/internal/simulation/gossipsim/talk.go
+++ b/internal/simulation/gossipsim/talk.go
@@ -20,34 +20,34 @@
 
 // Settings say what is played.
 type Settings struct {
-	Members int
-	Lenders int
-	Units   float64 // of the one budget
-	Demand  float64 // of all together, in units a second
-	Length  monotime.Micros
-	Seed    uint64
-	Fleet   coordination.Settings          // of each: names and seeds are filled in
-	Size    func(coordination.Message) int // of a word as it is carried; nil counts words alone
-	Faults  []Fault
-	Plant   string // an error that is planted, by name (Plants); "" is none
+	Members      int
+	Candidates   int
+	Units        float64 // of the one budget
+	Demand       float64 // of all together, in units a second
+	Duration     monotime.Micros
+	Seed         uint64
+	Coordination coordination.Settings          // of each: names and seeds are filled in
+	MessageSize  func(coordination.Message) int // of a word as it is carried; nil counts words alone
+	Faults       []Fault
+	PlantedError string // an error that is planted, by name (Plants); "" is none
 }
 
 // Shipped are the settings that hold where operators say no more (package config).
-func Shipped() coordination.Settings {
+func DefaultSettings() coordination.Settings {
 	return coordination.Settings{LeaseDuration: second, Quota: quota.Settings{Reserve: 0.1, LeaseDuration: 2 * second, RequestInterval: second / 4, MaxClockDrift: 0.005}}
 }
 
 // Fault is something that goes wrong.
 type Fault struct {
-	What   string // Faults has them
-	At     monotime.Micros
-	For    monotime.Micros // 0 is to the end
-	Of     []int           // members
-	Factor float64
+	Kind     string // Faults has them
+	Start    monotime.Micros
+	Duration monotime.Micros // 0 is to the end
+	Members  []int           // members
+	Factor   float64
 }
 
 // Faults are the names of faults, with what each is.
-var Faults = map[string]string{
+var FaultKinds = map[string]string{
 	"kill":     "they are killed, and start anew when it ends",
 	"kills":    "they are killed and start anew, again and again, every Factor seconds",
 	"stop":     "they are stopped, and woken when it ends",
@@ -65,65 +65,65 @@
 }
 
 // Plants are the errors that can be planted, for the checker to find.
-var Plants = []string{"two books", "slow clocks", "spends as it starts", "more than said"}
+var PlantedErrors = []string{"two books", "slow clocks", "spends as it starts", "more than said"}
 
 // Second is what was spent in a second.
-type Second struct{ Wanted, Spent int }
+type Second struct{ Demanded, Spent int }
 
 // Result is what a run came to.
 type Result struct {
-	Worst    int // units spent within any second, at most
-	WorstAt  monotime.Micros
-	Breaches int // units that were beyond the budget
-	Use      float64
-	Seconds  []Second
-	Words    float64 // a second, of a member that keeps no book
-	Bytes    float64
-	BookOut  float64         // words a second of the one that keeps the book
-	BookSize float64         // and bytes
-	Settled  monotime.Micros // until nine tenths of the budget were spent in a second for the first time
+	MaxSpent             int // units spent within any second, at most
+	MaxSpentAt           monotime.Micros
+	UnitsExceeded        int // units that were beyond the budget
+	Utilization          float64
+	Seconds              []Second
+	MessageRate          float64 // a second, of a member that keeps no book
+	ByteRate             float64
+	AllocatorMessageRate float64         // words a second of the one that keeps the book
+	AllocatorByteRate    float64         // and bytes
+	ConvergedAt          monotime.Micros // until nine tenths of the budget were spent in a second for the first time
 }
 
 type member struct {
-	n      int
-	name   string
-	m      *coordination.Member
-	up     bool
-	asleep monotime.Micros // until then
-	rate   float64
-	zero   float64 // true instant at which its clock is 0
-	wants  float64 // units a second
-	says   float64 // times what it wants
-	units  float64
-	life   uint64
-	wakeAt monotime.Micros
-	words  int
-	bytes  int
+	index        int
+	name         string
+	coordinator  *coordination.Member
+	running      bool
+	stoppedUntil monotime.Micros // until then
+	clockRate    float64
+	clockOrigin  float64 // true instant at which its clock is 0
+	demandRate   float64 // units a second
+	demandFactor float64 // times what it wants
+	budgetUnits  float64
+	incarnation  uint64
+	wakeAt       monotime.Micros
+	messagesSent int
+	bytesSent    int
 }
 
-func (x *member) clock(at monotime.Micros) monotime.Micros {
-	return monotime.Micros((float64(at) - x.zero) * x.rate)
+func (x *member) localTime(at monotime.Micros) monotime.Micros {
+	return monotime.Micros((float64(at) - x.clockOrigin) * x.clockRate)
 }
 
-func (x *member) world(local monotime.Micros) monotime.Micros {
-	return monotime.Micros(math.Ceil(float64(local)/x.rate + x.zero))
+func (x *member) trueTime(local monotime.Micros) monotime.Micros {
+	return monotime.Micros(math.Ceil(float64(local)/x.clockRate + x.clockOrigin))
 }
 
 type event struct {
 	at    monotime.Micros
 	order uint64
-	do    func()
+	run   func()
 }
 
-type events []event
+type eventQueue []event
 
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
 }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
 	last := len(*q) - 1
 	x := (*q)[last]
 	(*q)[last] = event{}
@@ -131,140 +131,140 @@
 	return x
 }
 
-type world struct {
-	s       Settings
-	rng     *rand.Rand
-	now     monotime.Micros
-	order   uint64
-	queue   events
-	members []*member
-	byName  map[string]*member
-	lenders []string
-	active  []*Fault
-	spent   []monotime.Micros // within the last second
-	result  Result
-	lives   uint64
+type simulation struct {
+	settings      Settings
+	rng           *rand.Rand
+	now           monotime.Micros
+	nextOrder     uint64
+	queue         eventQueue
+	members       []*member
+	byName        map[string]*member
+	candidates    []string
+	activeFaults  []*Fault
+	recentlySpent []monotime.Micros // within the last second
+	result        Result
+	incarnations  uint64
 }
 
 // budget is the name of the one that is spent.
-const budget = "tenant/one"
+const budgetName = "tenant/one"
 
 // Run plays.
 func Run(s Settings) (*Result, error) {
-	w := &world{s: s, rng: rand.New(rand.NewPCG(s.Seed, 11)), byName: map[string]*member{}}
-	for i := range min(s.Lenders, s.Members) {
-		w.lenders = append(w.lenders, name(i))
+	w := &simulation{settings: s, rng: rand.New(rand.NewPCG(s.Seed, 11)), byName: map[string]*member{}}
+	for i := range min(s.Candidates, s.Members) {
+		w.candidates = append(w.candidates, memberName(i))
 	}
-	w.result.Seconds = make([]Second, max(1, (s.Length+second-1)/second))
+	w.result.Seconds = make([]Second, max(1, (s.Duration+second-1)/second))
 	for i := range s.Members {
-		x := &member{n: i, name: name(i), says: 1, units: s.Units, wants: s.Demand / float64(s.Members)}
+		x := &member{index: i, name: memberName(i), demandFactor: 1, budgetUnits: s.Units, demandRate: s.Demand / float64(s.Members)}
 		w.members = append(w.members, x)
 		w.byName[x.name] = x
 		if err := w.start(x); err != nil {
 			return nil, err
 		}
-		w.demand(x)
+		w.scheduleDemand(x)
 	}
 	for i := range s.Faults {
 		f := &s.Faults[i]
-		if Faults[f.What] == "" {
-			return nil, fmt.Errorf("there is no fault %q", f.What)
+		if FaultKinds[f.Kind] == "" {
+			return nil, fmt.Errorf("there is no fault %q", f.Kind)
 		}
-		w.after(f.At, func() { w.begins(f) })
+		w.schedule(f.Start, func() { w.startFault(f) })
 	}
 	for len(w.queue) > 0 {
 		e := heap.Pop(&w.queue).(event)
-		if e.at > s.Length {
+		if e.at > s.Duration {
 			break
 		}
 		w.now = e.at
-		e.do()
+		e.run()
 	}
-	w.sumUp()
+	w.summarize()
 	return &w.result, nil
 }
 
-func name(i int) string { return fmt.Sprint("instance-", i) }
+func memberName(i int) string { return fmt.Sprint("instance-", i) }
 
-func (w *world) after(d monotime.Micros, do func()) {
-	w.order++
-	heap.Push(&w.queue, event{w.now + max(0, d), w.order, do})
+func (w *simulation) schedule(d monotime.Micros, do func()) {
+	w.nextOrder++
+	heap.Push(&w.queue, event{w.now + max(0, d), w.nextOrder, do})
 }
 
 // start starts a member's process.
-func (w *world) start(x *member) error {
-	w.lives++
-	x.life = w.lives
-	x.rate = 1 + w.s.Fleet.Quota.MaxClockDrift*(2*w.rng.Float64()-1)
-	if w.s.Plant == "slow clocks" && x.n%3 == 1 {
-		x.rate = 0.5 // off by far more than what is stated
-	}
-	x.zero = float64(w.now) - 1e9*w.rng.Float64()
-	x.up, x.asleep = true, 0
-	m, err := w.member(x)
+func (w *simulation) start(x *member) error {
+	w.incarnations++
+	x.incarnation = w.incarnations
+	x.clockRate = 1 + w.settings.Coordination.Quota.MaxClockDrift*(2*w.rng.Float64()-1)
+	if w.settings.PlantedError == "slow clocks" && x.index%3 == 1 {
+		x.clockRate = 0.5 // off by far more than what is stated
+	}
+	x.clockOrigin = float64(w.now) - 1e9*w.rng.Float64()
+	x.running, x.stoppedUntil = true, 0
+	m, err := w.newCoordinator(x)
 	if err != nil {
 		return err
 	}
-	x.m = m
-	if w.s.Plant == "spends as it starts" {
-		m.Start(x.clock(w.now)-10*second, x.life)
+	x.coordinator = m
+	if w.settings.PlantedError == "spends as it starts" {
+		m.Start(x.localTime(w.now)-10*second, x.incarnation)
 	} else {
-		m.Start(x.clock(w.now), x.life)
+		m.Start(x.localTime(w.now), x.incarnation)
 	}
-	w.settle(x)
+	w.processOutgoing(x)
 	return nil
 }
 
-func (w *world) member(x *member) (*coordination.Member, error) {
-	f := w.s.Fleet
-	f.Self, f.Candidates, f.Seed = x.name, w.lenders, w.s.Seed<<20+w.lives
-	f.Quota.MaxInstances = w.s.Members
-	if w.s.Plant == "two books" && x.n%2 == 1 {
+func (w *simulation) newCoordinator(x *member) (*coordination.Member, error) {
+	f := w.settings.Coordination
+	f.Self, f.Candidates, f.Seed = x.name, w.candidates, w.settings.Seed<<20+w.incarnations
+	f.Quota.MaxInstances = w.settings.Members
+	if w.settings.PlantedError == "two books" && x.index%2 == 1 {
 		f.Candidates = []string{x.name}
 	}
-	if w.s.Plant == "more than said" {
-		f.Quota.MaxInstances = max(1, w.s.Members/4)
+	if w.settings.PlantedError == "more than said" {
+		f.Quota.MaxInstances = max(1, w.settings.Members/4)
 	}
 	m, err := coordination.New(f)
 	if err == nil {
-		m.SetBudget(budget, x.units, false)
+		m.SetBudget(budgetName, x.budgetUnits, false)
 	}
 	return m, err
 }
 
 // settle takes what a member says, and has it woken in time.
-func (w *world) settle(x *member) {
-	for _, o := range x.m.TakeOutgoing() {
-		w.carry(x, o)
+func (w *simulation) processOutgoing(x *member) {
+	for _, o := range x.coordinator.TakeOutgoing() {
+		w.transmit(x, o)
 	}
-	if at := x.world(x.m.NextTick()); x.wakeAt <= w.now || at < x.wakeAt {
+	if at := x.trueTime(x.coordinator.NextTick()); x.wakeAt <= w.now || at < x.wakeAt {
 		x.wakeAt = max(at, w.now+1)
-		life := x.life
-		w.after(x.wakeAt-w.now, func() { w.wake(x, life) })
+		life := x.incarnation
+		w.schedule(x.wakeAt-w.now, func() { w.tick(x, life) })
 	}
 }
 
-func (w *world) wake(x *member, life uint64) {
-	if !x.up || x.life != life {
+func (w *simulation) tick(x *member, life uint64) {
+	if !x.running || x.incarnation != life {
 		return
 	}
-	if x.asleep > w.now {
-		w.after(x.asleep-w.now, func() { w.wake(x, life) })
+	if x.stoppedUntil > w.now {
+		w.schedule(x.stoppedUntil-w.now, func() { w.tick(x, life) })
 		return
 	}
-	x.m.Tick(x.clock(w.now))
-	w.settle(x)
+	x.coordinator.Tick(x.localTime(w.now))
+	w.processOutgoing(x)
 }
 
 // carry takes a word to whom it is for.
-func (w *world) carry(from *member, o coordination.Outgoing) {
-	from.words++
-	if w.s.Size != nil {
-		from.bytes += w.s.Size(o.Message)
+func (w *simulation) transmit(from *member, o coordination.Outgoing) {
+	from.messagesSent++
+	if w.settings.MessageSize != nil {
+		from.bytesSent += w.settings.MessageSize(o.Message)
 	}
-	if o.Message.Request != nil && from.says != 1 {
+	if o.Message.Request != nil && from.demandFactor != 1 {
 		for i := range o.Message.Request.Demands {
-			o.Message.Request.Demands[i].Requested *= from.says
+			o.Message.Request.Demands[i].Requested *= from.demandFactor
 		}
 	}
 	to := w.byName[o.To]
@@ -272,8 +272,8 @@
 		return
 	}
 	delay, copies := monotime.Micros(200+1000*w.rng.ExpFloat64()), 1
-	for _, f := range w.active {
-		switch f.What {
+	for _, f := range w.activeFaults {
+		switch f.Kind {
 		case "lossy":
 			if w.rng.Float64() < f.Factor {
 				copies--
@@ -282,30 +282,30 @@
 				copies++
 			}
 			if w.rng.Float64() < f.Factor {
-				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.s.Fleet.Quota.LeaseDuration))
+				delay += monotime.Micros(w.rng.Float64() * 2 * float64(w.settings.Coordination.Quota.LeaseDuration))
 			}
 		case "slow":
-			if slices.Contains(f.Of, from.n) {
-				delay += monotime.Micros(f.Factor * float64(w.s.Fleet.Quota.LeaseDuration))
+			if slices.Contains(f.Members, from.index) {
+				delay += monotime.Micros(f.Factor * float64(w.settings.Coordination.Quota.LeaseDuration))
 			}
 		}
 	}
 	for range copies {
-		w.after(delay+w.rng.Int64N(100), func() { w.arrive(from, to, o.Message) })
+		w.schedule(delay+w.rng.Int64N(100), func() { w.deliver(from, to, o.Message) })
 	}
 }
 
 // cut says whether nothing passes from one member to another now.
-func (w *world) cut(from, to *member) bool {
-	for _, f := range w.active {
-		a, b := slices.Contains(f.Of, from.n), slices.Contains(f.Of, to.n)
-		switch f.What {
+func (w *simulation) partitioned(from, to *member) bool {
+	for _, f := range w.activeFaults {
+		a, b := slices.Contains(f.Members, from.index), slices.Contains(f.Members, to.index)
+		switch f.Kind {
 		case "split":
 			if a != b {
 				return true
 			}
 		case "flap":
-			if a != b && (w.now-f.At)/second%2 == 0 {
+			if a != b && (w.now-f.Start)/second%2 == 0 {
 				return true
 			}
 		case "deaf":
@@ -317,8 +317,8 @@
 				return true
 			}
 		case "unseen":
-			first, last := f.Of[0], f.Of[len(f.Of)-1]
-			if from.n == first && to.n == last || from.n == last && to.n == first {
+			first, last := f.Members[0], f.Members[len(f.Members)-1]
+			if from.index == first && to.index == last || from.index == last && to.index == first {
 				return true
 			}
 		}
@@ -326,67 +326,67 @@
 	return false
 }
 
-func (w *world) arrive(from, to *member, word coordination.Message) {
-	if !to.up || w.cut(from, to) {
+func (w *simulation) deliver(from, to *member, word coordination.Message) {
+	if !to.running || w.partitioned(from, to) {
 		return
 	}
-	if to.asleep > w.now {
-		life := to.life
-		w.after(to.asleep-w.now, func() {
-			if to.life == life {
-				w.arrive(from, to, word)
+	if to.stoppedUntil > w.now {
+		life := to.incarnation
+		w.schedule(to.stoppedUntil-w.now, func() {
+			if to.incarnation == life {
+				w.deliver(from, to, word)
 			}
 		})
 		return
 	}
-	to.m.Receive(to.clock(w.now), from.name, word)
-	w.settle(to)
+	to.coordinator.Receive(to.localTime(w.now), from.name, word)
+	w.processOutgoing(to)
 }
 
 // ---- Demand and what is spent ------------------------------------------------
 
-func (w *world) demand(x *member) {
-	if x.wants <= 0 {
+func (w *simulation) scheduleDemand(x *member) {
+	if x.demandRate <= 0 {
 		return
 	}
-	w.after(monotime.Micros(w.rng.ExpFloat64()/x.wants*float64(second)), func() {
-		w.want(x)
-		w.demand(x)
+	w.schedule(monotime.Micros(w.rng.ExpFloat64()/x.demandRate*float64(second)), func() {
+		w.requestUnit(x)
+		w.scheduleDemand(x)
 	})
 }
 
-func (w *world) want(x *member) {
+func (w *simulation) requestUnit(x *member) {
 	at := &w.result.Seconds[min(int(w.now/second), len(w.result.Seconds)-1)]
-	at.Wanted++
-	if !x.up || x.asleep > w.now {
+	at.Demanded++
+	if !x.running || x.stoppedUntil > w.now {
 		return
 	}
-	local := x.clock(w.now)
-	x.m.RecordDemand(local, budget)
-	if !x.m.Spend(local, budget) {
+	local := x.localTime(w.now)
+	x.coordinator.RecordDemand(local, budgetName)
+	if !x.coordinator.Spend(local, budgetName) {
 		return
 	}
 	at.Spent++
-	w.spent = append(w.spent, w.now)
+	w.recentlySpent = append(w.recentlySpent, w.now)
 	n := 0
-	for w.spent[n] <= w.now-second {
+	for w.recentlySpent[n] <= w.now-second {
 		n++
 	}
-	w.spent = w.spent[n:]
-	if len(w.spent) > w.result.Worst {
-		w.result.Worst, w.result.WorstAt = len(w.spent), w.now
+	w.recentlySpent = w.recentlySpent[n:]
+	if len(w.recentlySpent) > w.result.MaxSpent {
+		w.result.MaxSpent, w.result.MaxSpentAt = len(w.recentlySpent), w.now
 	}
-	if float64(len(w.spent)) > w.most() {
-		w.result.Breaches++
+	if float64(len(w.recentlySpent)) > w.maxBudget() {
+		w.result.UnitsExceeded++
 	}
 }
 
 // most is what the budget is at most by anybody's file now, or was within the time in which a change spreads.
-func (w *world) most() float64 {
-	most := w.s.Units
-	for i := range w.s.Faults {
-		if f := &w.s.Faults[i]; f.What == "budget" {
-			most = max(most, w.s.Units*f.Factor)
+func (w *simulation) maxBudget() float64 {
+	most := w.settings.Units
+	for i := range w.settings.Faults {
+		if f := &w.settings.Faults[i]; f.Kind == "budget" {
+			most = max(most, w.settings.Units*f.Factor)
 		}
 	}
 	return most
@@ -394,140 +394,140 @@
 
 // ---- What goes wrong ---------------------------------------------------------
 
-func (w *world) begins(f *Fault) {
-	w.active = append(w.active, f)
-	until := f.For
-	if f.For == 0 {
-		until = w.s.Length
+func (w *simulation) startFault(f *Fault) {
+	w.activeFaults = append(w.activeFaults, f)
+	until := f.Duration
+	if f.Duration == 0 {
+		until = w.settings.Duration
 	}
-	for _, n := range f.Of {
+	for _, n := range f.Members {
 		x := w.members[n]
-		switch f.What {
+		switch f.Kind {
 		case "kill", "kills":
 			w.kill(x)
 		case "stop":
-			x.asleep = w.now + until
+			x.stoppedUntil = w.now + until
 		case "demand":
-			was := x.wants
-			x.wants = was * f.Factor
+			was := x.demandRate
+			x.demandRate = was * f.Factor
 			if was == 0 {
-				x.wants = f.Factor
-				w.demand(x)
+				x.demandRate = f.Factor
+				w.scheduleDemand(x)
 			}
 		case "lies":
-			x.says = f.Factor
+			x.demandFactor = f.Factor
 		case "budget":
-			x.units = w.s.Units * f.Factor
-			if x.up {
-				x.m.SetBudget(budget, x.units, false)
+			x.budgetUnits = w.settings.Units * f.Factor
+			if x.running {
+				x.coordinator.SetBudget(budgetName, x.budgetUnits, false)
 			}
 		case "replaced":
 			w.replace(x)
 		}
 	}
-	if f.What == "kills" {
+	if f.Kind == "kills" {
 		every := monotime.Micros(f.Factor * float64(second))
 		var turn func()
 		turn = func() {
-			if w.now >= f.At+until {
+			if w.now >= f.Start+until {
 				return
 			}
-			for _, n := range f.Of {
+			for _, n := range f.Members {
 				w.kill(w.members[n])
 				w.start(w.members[n])
 			}
-			w.after(every, turn)
+			w.schedule(every, turn)
 		}
-		w.after(every, turn)
+		w.schedule(every, turn)
 	}
-	if f.For > 0 {
-		w.after(f.For, func() { w.ends(f) })
+	if f.Duration > 0 {
+		w.schedule(f.Duration, func() { w.endFault(f) })
 	}
 }
 
-func (w *world) kill(x *member) {
-	x.up = false
-	x.life = 0
+func (w *simulation) kill(x *member) {
+	x.running = false
+	x.incarnation = 0
 }
 
 // replace has another process take a member's place: what was said to the former is heard by none.
-func (w *world) replace(x *member) {
-	if !x.up || x.asleep > w.now {
+func (w *simulation) replace(x *member) {
+	if !x.running || x.stoppedUntil > w.now {
 		return
 	}
-	w.settle(x)
-	state := x.m.HandOver(x.clock(w.now))
-	for _, o := range x.m.TakeOutgoing() {
-		w.carry(x, o)
+	w.processOutgoing(x)
+	state := x.coordinator.HandOver(x.localTime(w.now))
+	for _, o := range x.coordinator.TakeOutgoing() {
+		w.transmit(x, o)
 	}
-	w.lives++
-	x.life = w.lives
-	m, err := w.member(x)
+	w.incarnations++
+	x.incarnation = w.incarnations
+	m, err := w.newCoordinator(x)
 	if err != nil {
 		panic(err) // the same settings were taken before
 	}
-	x.m, x.wakeAt = m, 0
-	m.Restore(x.clock(w.now), 0, x.life, state)
-	w.settle(x)
+	x.coordinator, x.wakeAt = m, 0
+	m.Restore(x.localTime(w.now), 0, x.incarnation, state)
+	w.processOutgoing(x)
 }
 
-func (w *world) ends(f *Fault) {
-	w.active = slices.DeleteFunc(w.active, func(o *Fault) bool { return o == f })
-	for _, n := range f.Of {
+func (w *simulation) endFault(f *Fault) {
+	w.activeFaults = slices.DeleteFunc(w.activeFaults, func(o *Fault) bool { return o == f })
+	for _, n := range f.Members {
 		x := w.members[n]
-		switch f.What {
+		switch f.Kind {
 		case "kill", "kills":
-			if !x.up {
+			if !x.running {
 				w.start(x)
 			}
 		case "demand":
-			x.wants /= f.Factor
+			x.demandRate /= f.Factor
 		case "lies":
-			x.says = 1
+			x.demandFactor = 1
 		case "budget":
-			x.units = w.s.Units
-			if x.up {
-				x.m.SetBudget(budget, x.units, false)
+			x.budgetUnits = w.settings.Units
+			if x.running {
+				x.coordinator.SetBudget(budgetName, x.budgetUnits, false)
 			}
 		}
 	}
 }
 
 // sumUp makes the figures that are of the whole run.
-func (w *world) sumUp() {
+func (w *simulation) summarize() {
 	r := &w.result
 	var could, spent int
 	for i, s := range r.Seconds {
-		most := int(w.s.Units)
-		could += min(s.Wanted, most)
+		most := int(w.settings.Units)
+		could += min(s.Demanded, most)
 		spent += min(s.Spent, most)
-		if r.Settled == 0 && 10*s.Spent >= 9*min(s.Wanted, most) {
-			r.Settled = monotime.Micros(i+1) * second
+		if r.ConvergedAt == 0 && 10*s.Spent >= 9*min(s.Demanded, most) {
+			r.ConvergedAt = monotime.Micros(i+1) * second
 		}
 	}
-	r.Use = 1
+	r.Utilization = 1
 	if could > 0 {
-		r.Use = float64(spent) / float64(could)
+		r.Utilization = float64(spent) / float64(could)
 	}
-	length := float64(w.s.Length) / float64(second)
+	length := float64(w.settings.Duration) / float64(second)
 	others := 0
 	for _, x := range w.members {
-		words, size := float64(x.words)/length, float64(x.bytes)/length
-		if words > r.BookOut {
-			r.BookOut, r.BookSize = words, size
+		words, size := float64(x.messagesSent)/length, float64(x.bytesSent)/length
+		if words > r.AllocatorMessageRate {
+			r.AllocatorMessageRate, r.AllocatorByteRate = words, size
 		}
-		if x.n >= len(w.lenders) {
-			r.Words += words
-			r.Bytes += size
+		if x.index >= len(w.candidates) {
+			r.MessageRate += words
+			r.ByteRate += size
 			others++
 		}
 	}
-	r.Words /= float64(max(1, others))
-	r.Bytes /= float64(max(1, others))
+	r.MessageRate /= float64(max(1, others))
+	r.ByteRate /= float64(max(1, others))
 }
 
 // Cases are the hard cases, each with what goes wrong in a run of so many members.
-func Cases(members int) map[string][]Fault {
+func HardCases(members int) map[string][]Fault {
 	half, third := make([]int, 0, members), make([]int, 0, members)
 	all := make([]int, 0, members)
 	for i := range members {
@@ -545,41 +545,41 @@
 	last := []int{0, members - 1}
 	return map[string][]Fault{
 		"calm":                 nil,
-		"lenders killed":       {{What: "kill", At: at, For: 2 * second, Of: lenders[:1]}, {What: "kill", At: at + 6*second, For: second, Of: lenders[min(1, len(lenders)-1):min(2, len(lenders))]}},
-		"lenders stopped":      {{What: "stop", At: at, For: 7 * second, Of: lenders[:1]}, {What: "stop", At: at + 3*second, For: 7 * second, Of: lenders[min(1, len(lenders)-1):]}},
-		"lenders slow":         {{What: "slow", At: at, For: long, Of: lenders, Factor: 0.3}},
-		"split in halves":      {{What: "split", At: at, For: long, Of: half}},
-		"one and the rest":     {{What: "split", At: at, For: long, Of: one}},
-		"lenders and the rest": {{What: "split", At: at, For: long, Of: lenders}},
-		"split in three":       {{What: "split", At: at, For: long, Of: half}, {What: "split", At: at + second, For: long, Of: third}},
-		"one way":              {{What: "deaf", At: at, For: long, Of: lenders[:1]}, {What: "dumb", At: at + long, For: long, Of: lenders[:1]}},
-		"flapping":             {{What: "flap", At: at, For: long, Of: half}},
-		"seen by some":         {{What: "unseen", At: at, For: long, Of: last}},
-		"late, twice, lost":    {{What: "lossy", At: 0, For: 25 * second, Factor: 0.2}},
-		"all start at once":    {{What: "kill", At: at, For: second, Of: all}},
-		"killed ten times":     {{What: "kills", At: at, For: 20 * second, Of: half, Factor: 2}},
-		"stopped and woken":    {{What: "stop", At: at, For: 5 * second, Of: rest}},
-		"a liar":               {{What: "lies", At: 0, Of: one, Factor: 1000}},
-		"demand moves":         {{What: "demand", At: at, Of: half, Factor: 0.05}, {What: "demand", At: at, Of: one, Factor: 8}},
-		"half have less":       {{What: "budget", At: at, Of: half, Factor: 0.5}},
-		"one after another":    {{What: "replaced", At: at, Of: half}, {What: "replaced", At: at + 2*second, Of: lenders}, {What: "replaced", At: at + 2*second + 1, Of: half}},
+		"lenders killed":       {{Kind: "kill", Start: at, Duration: 2 * second, Members: lenders[:1]}, {Kind: "kill", Start: at + 6*second, Duration: second, Members: lenders[min(1, len(lenders)-1):min(2, len(lenders))]}},
+		"lenders stopped":      {{Kind: "stop", Start: at, Duration: 7 * second, Members: lenders[:1]}, {Kind: "stop", Start: at + 3*second, Duration: 7 * second, Members: lenders[min(1, len(lenders)-1):]}},
+		"lenders slow":         {{Kind: "slow", Start: at, Duration: long, Members: lenders, Factor: 0.3}},
+		"split in halves":      {{Kind: "split", Start: at, Duration: long, Members: half}},
+		"one and the rest":     {{Kind: "split", Start: at, Duration: long, Members: one}},
+		"lenders and the rest": {{Kind: "split", Start: at, Duration: long, Members: lenders}},
+		"split in three":       {{Kind: "split", Start: at, Duration: long, Members: half}, {Kind: "split", Start: at + second, Duration: long, Members: third}},
+		"one way":              {{Kind: "deaf", Start: at, Duration: long, Members: lenders[:1]}, {Kind: "dumb", Start: at + long, Duration: long, Members: lenders[:1]}},
+		"flapping":             {{Kind: "flap", Start: at, Duration: long, Members: half}},
+		"seen by some":         {{Kind: "unseen", Start: at, Duration: long, Members: last}},
+		"late, twice, lost":    {{Kind: "lossy", Start: 0, Duration: 25 * second, Factor: 0.2}},
+		"all start at once":    {{Kind: "kill", Start: at, Duration: second, Members: all}},
+		"killed ten times":     {{Kind: "kills", Start: at, Duration: 20 * second, Members: half, Factor: 2}},
+		"stopped and woken":    {{Kind: "stop", Start: at, Duration: 5 * second, Members: rest}},
+		"a liar":               {{Kind: "lies", Start: 0, Members: one, Factor: 1000}},
+		"demand moves":         {{Kind: "demand", Start: at, Members: half, Factor: 0.05}, {Kind: "demand", Start: at, Members: one, Factor: 8}},
+		"half have less":       {{Kind: "budget", Start: at, Members: half, Factor: 0.5}},
+		"one after another":    {{Kind: "replaced", Start: at, Members: half}, {Kind: "replaced", Start: at + 2*second, Members: lenders}, {Kind: "replaced", Start: at + 2*second + 1, Members: half}},
 	}
 }
 
 // Random draws what goes wrong: up to eight faults of any kind.
-func Random(seed uint64, members int, length monotime.Micros) (all []Fault) {
+func RandomFaults(seed uint64, members int, length monotime.Micros) (all []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 13))
-	kinds := make([]string, 0, len(Faults))
-	for what := range Faults {
+	kinds := make([]string, 0, len(FaultKinds))
+	for what := range FaultKinds {
 		kinds = append(kinds, what)
 	}
 	slices.Sort(kinds)
 	for range 1 + rng.IntN(8) {
-		f := Fault{What: kinds[rng.IntN(len(kinds))], At: rng.Int64N(length), For: 1 + rng.Int64N(8*second)}
+		f := Fault{Kind: kinds[rng.IntN(len(kinds))], Start: rng.Int64N(length), Duration: 1 + rng.Int64N(8*second)}
 		for _, n := range rng.Perm(members)[:1+rng.IntN(members)] {
-			f.Of = append(f.Of, n)
+			f.Members = append(f.Members, n)
 		}
-		switch f.What {
+		switch f.Kind {
 		case "kills":
 			f.Factor = 0.5 + 2*rng.Float64()
 		case "slow":
