--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -19,7 +19,7 @@
 	Deadline monotime.Micros
 
 	// ClaimSend must be called last, right before the first byte is written. If it returns false, nothing may be
-	// written, and the result's status is balancer.Moot.
+	// written, and the result's status is balancer.NotSent.
 	ClaimSend func(now monotime.Micros) bool
 
 	// OnAbort sets how to end the sending at once, without blocking. It must be called before ClaimSend; if it returns
