Rename what package endpointsource declares to standard terms

Need: Listed, Every, tell, look and check do not say what they are to somebody who reads a call. Change: a type-aware rename over all callers; nothing else.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -43,7 +43,7 @@
 	switch {
 	case conf.Endpoints != nil:
 		c.StaticList = true
-		c.InitialEndpoints = endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, 0)
+		c.InitialEndpoints = endpointsource.StaticList(*conf.Endpoints, d.config.Fleet.Zone, 0)
 	case conf.File != "":
 		c.StaticList = true
 	default:
@@ -72,7 +72,7 @@
 func (d *generation) startSource(p *pool) {
 	switch {
 	case p.config.File != "":
-		p.file = endpointsource.Watch(p.config.File, endpointsource.Every, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
+		p.file = endpointsource.WatchFile(p.config.File, endpointsource.DefaultFileInterval, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 	case p.source != nil && !d.options.Config.Site.Settings.Subscribe:
 		p.source.SetWatching(true)
 	}
@@ -122,7 +122,7 @@
 		case reflect.DeepEqual(p.config, conf):
 		case conf.Endpoints != nil:
 			p.listGeneration++
-			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.Listed(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration))
+			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.StaticList(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration))
 		default:
 			p.source.SwitchTo(d.watcher(p, conf.Discovery))
 			p.endpoints.SetSource(conf.Source())
--- a/internal/endpointsource/membership.go
+++ b/internal/endpointsource/membership.go
@@ -19,7 +19,7 @@
 )
 
 // Listed returns a list of addresses as the core takes it: each is the endpoint's name, too.
-func Listed(addresses []string, zone string, generation int64) engine.EndpointUpdate {
+func StaticList(addresses []string, zone string, generation int64) engine.EndpointUpdate {
 	t := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: generation}
 	for _, a := range addresses {
 		t.Endpoints = append(t.Endpoints, engine.EndpointInfo{Name: a, Addr: a, Zone: zone, Weight: 1})
@@ -30,39 +30,39 @@
 // File is a file that holds a list in discovery's form. Its generation and reset are not read: what it holds is the
 // whole list, whenever it changes.
 type File struct {
-	path  string
-	every time.Duration
-	tell  discovery.UpdateFunc
-	log   *slog.Logger
+	path     string
+	interval time.Duration
+	onUpdate discovery.UpdateFunc
+	log      *slog.Logger
 
-	seen       []byte
+	content    []byte
 	generation int64
-	wrong      string // the last error told
+	lastError  string // the last error told
 
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 }
 
 // fileMost is the most bytes that a file may have.
-const fileMost = 64 << 20
+const maxFileBytes = 64 << 20
 
 // Every is how often a file is looked at.
-const Every = time.Second
+const DefaultFileInterval = time.Second
 
 // Watch reads a file at once and then as often as it is told, until Close. A file that cannot be read or makes no sense
 // is logged, once until that changes, and the list before it stays: an editor or a copy may be half done.
-func Watch(path string, every time.Duration, tell discovery.UpdateFunc, log *slog.Logger) *File {
-	f := &File{path: path, every: every, tell: tell, log: log}
+func WatchFile(path string, every time.Duration, tell discovery.UpdateFunc, log *slog.Logger) *File {
+	f := &File{path: path, interval: every, onUpdate: tell, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.look(ctx)
-	f.ended.Go(func() {
-		tick := time.NewTicker(f.every)
+	f.reload(ctx)
+	f.running.Go(func() {
+		tick := time.NewTicker(f.interval)
 		defer tick.Stop()
 		for {
 			select {
 			case <-tick.C:
-				f.look(ctx)
+				f.reload(ctx)
 			case <-ctx.Done():
 				return
 			}
@@ -74,34 +74,34 @@
 // Close ends the watch and waits until it tells nothing more.
 func (f *File) Close() {
 	f.cancel()
-	f.ended.Wait()
+	f.running.Wait()
 }
 
 // look tells the list if the file holds another than before. It is read, not only asked for its time: a file that is
 // replaced within its time's grain is another all the same.
-func (f *File) look(ctx context.Context) {
+func (f *File) reload(ctx context.Context) {
 	text, err := f.read()
-	if err == nil && bytes.Equal(text, f.seen) && f.seen != nil {
+	if err == nil && bytes.Equal(text, f.content) && f.content != nil {
 		return
 	}
 	var l discovery.List
 	if err == nil {
 		if err = json.Unmarshal(text, &l); err == nil {
-			err = check(&l)
+			err = validate(&l)
 		}
 	}
 	if err != nil {
-		if f.wrong != err.Error() {
-			f.wrong = err.Error()
+		if f.lastError != err.Error() {
+			f.lastError = err.Error()
 			f.log.Warn("file of endpoints not taken, the list before it stays", "file", f.path, "error", err)
 		}
 		return
 	}
-	f.seen, f.wrong = text, ""
+	f.content, f.lastError = text, ""
 	f.generation++
 	l.Generation, l.Reset = f.generation, true
 	f.log.Info("file of endpoints read", "file", f.path, "endpoints", len(l.Instances))
-	f.tell(ctx, l.EndpointUpdate())
+	f.onUpdate(ctx, l.EndpointUpdate())
 }
 
 func (f *File) read() ([]byte, error) {
@@ -110,16 +110,16 @@
 		return nil, err
 	}
 	defer file.Close()
-	text, err := io.ReadAll(io.LimitReader(file, fileMost+1))
-	if err == nil && len(text) > fileMost {
-		err = fmt.Errorf("over %d bytes", fileMost)
+	text, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err == nil && len(text) > maxFileBytes {
+		err = fmt.Errorf("over %d bytes", maxFileBytes)
 	}
 	return text, err
 }
 
 // check says what of a list makes no sense. Discovery's lists are taken entry by entry, since what is missing there may
 // come with the next; a file is somebody's work, and wrong as a whole.
-func check(l *discovery.List) error {
+func validate(l *discovery.List) error {
 	if l.Instances == nil {
 		return fmt.Errorf(`no "instances"`)
 	}
--- a/internal/endpointsource/membership_test.go
+++ b/internal/endpointsource/membership_test.go
@@ -29,7 +29,7 @@
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pool.json")
 	told := make(chan engine.EndpointUpdate, 1)
-	f := Watch(path, time.Millisecond, func(_ context.Context, t engine.EndpointUpdate) { told <- t }, scriptedpeer.Quiet)
+	f := WatchFile(path, time.Millisecond, func(_ context.Context, t engine.EndpointUpdate) { told <- t }, scriptedpeer.Quiet)
 	defer f.Close()
 	write := func(text string) {
 		t.Helper()
