Split discovery and endpointsource by concern, in short functions; standard log lines

Need: discovery.go held lists, watches, reading and the owner of the goroutine; log lines were sentences of their own. Change: a file for each of these, loops and parsing as methods, one step a line. Timeouts, order of calls and what is passed on stay as they are.

--- /dev/null
+++ b/internal/discovery/doc.go
@@ -0,0 +1,6 @@
+// Package discovery is a client of the discovery service of the operators' page PROTOCOL.
+//
+// A Watcher holds a watch (an HTTP answer that stays open and carries JSON lists) and passes on each list as an
+// engine.EndpointUpdate; a Source owns the goroutine in which the present watcher runs. What an update does to the
+// endpoints is decided by package engine and the balancer.
+package discovery
--- /dev/null
+++ b/internal/discovery/listreader.go
@@ -0,0 +1,61 @@
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// listReader reads the lists of an answer as they come, each over as many lines as it likes. Every byte that comes
+// restarts the timer that ends a silent watch.
+type listReader struct {
+	body           io.Reader
+	silence        *time.Timer
+	silenceTimeout time.Duration
+	maxListBytes   int64
+	bytesRead      int64
+	listStart      int64 // where the list before ended
+	decoder        *json.Decoder
+}
+
+func (w *Watcher) newListReader(body io.Reader, silence *time.Timer) *listReader {
+	reader := &listReader{
+		body:           body,
+		silence:        silence,
+		silenceTimeout: w.SilenceTimeout,
+		maxListBytes:   int64(w.maxListBytes),
+	}
+	reader.decoder = json.NewDecoder(reader)
+	return reader
+}
+
+// Read reads for the decoder. Bytes between two lists count towards the limit of the next one: months of blank lines
+// reach it, and then the watch is opened again.
+func (l *listReader) Read(buffer []byte) (int, error) {
+	if l.bytesRead-l.listStart > l.maxListBytes {
+		return 0, fmt.Errorf("a list of over %d bytes", l.maxListBytes)
+	}
+	n, err := l.body.Read(buffer)
+	if n > 0 {
+		l.silence.Reset(l.silenceTimeout)
+		l.bytesRead += int64(n)
+	}
+	return n, err
+}
+
+// next returns the next list. The end of the answer is io.ErrUnexpectedEOF, since a watch does not end by itself.
+func (l *listReader) next() (*List, error) {
+	l.listStart = l.decoder.InputOffset()
+	list := &List{}
+	err := l.decoder.Decode(list)
+	switch {
+	case err == io.EOF:
+		return nil, io.ErrUnexpectedEOF
+	case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)):
+		// What it changed is not known: the next watch names it again.
+		return nil, fmt.Errorf("malformed list: %w", err)
+	}
+	return list, err
+}
