Carry out hot restarts in one place: takeover.Lifecycle, for the sidecar and the daemon

The lifecycle of a process stood twice, in the sidecar's course.go and the daemon's run.go. What differs stays with the programs: their run loops (the sidecar's also waits for its accept loop), listeners, stopping, log lines of one program. The files are split by concern; a debug line for each step, which the daemon had, comes from both. The sidecar doesn't write debug lines, so its log is as before.

On this tree: go test -race of cmd/dunlinsail, internal/sidecar, internal/takeover and internal/decide/takeover passes.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -112,7 +112,7 @@
 func (p *process) newLifecycle(g *generation, giver *takeover.Conn) *lifecycle {
 	l := newLifecycle(p.stop, g, giver)
 	l.onServing = func() {
-		addresses, given := l.addresses(), l.successor.ReceivesConnections()
+		addresses, given := l.addresses(), l.Successor.ReceivesConnections()
 		p.post(func() { p.onServing(l, addresses, given) })
 	}
 	l.onHandingOver = func(yes bool) {
@@ -180,7 +180,7 @@
 	p.start(p.successor)
 	from := p.serving
 	go func() {
-		if !from.loop.Post(func() { from.readHello(giver) }) {
+		if !from.Loop.Post(func() { from.ReadHello(from.ctx, giver, answerTimeout) }) {
 			giver.Close()
 		}
 	}()
--- /dev/null
+++ b/internal/daemon/successor.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/takeover"
+)
+
+// The methods of this file carry out what the successor's state machine says (takeover.SuccessorHost).
+
+// ReceiveOffer takes the listening sockets that are offered.
+func (l *lifecycle) ReceiveOffer(m takeover.Message) {
+	if err := json.Unmarshal(m.Payload, &l.received); err != nil {
+		l.log.Warn("what is offered makes no sense", "error", err)
+		l.received = offer{}
+	}
+	for i, file := range m.Files {
+		if l.received.Takeover && i == len(m.Files)-1 {
+			listener, err := takeover.FromFile(file)
+			if err != nil {
+				l.log.Warn("socket for takers not taken over", "error", err)
+				continue
+			}
+			l.successorListener = listener
+			continue
+		}
+		listener, err := net.FileListener(file)
+		if err != nil {
+			l.log.Warn("listening socket not taken over", "error", err)
+		}
+		l.offeredListeners = append(l.offeredListeners, listener)
+	}
+	l.received.Listeners = l.received.Listeners[:min(len(l.received.Listeners), len(l.offeredListeners))]
+}
+
+// StartWithOffer starts all but accepting, with the sockets and the snapshot that were offered.
+func (l *lifecycle) StartWithOffer() error {
+	var names []string
+	for i, name := range l.received.Listeners {
+		if l.offeredListeners[i] == nil {
+			name = "" // cannot be used
+		}
+		names = append(names, name)
+	}
+	if err := l.listen(l.stop, l.offeredListeners, names, 0); err != nil {
+		return err
+	}
+	state := l.decodeState(l.received.State, "at the start")
+	if state != nil {
+		l.resumeWatches(state.Snapshot)
+	}
+	l.generation.start()
+	l.restore(state, "at the start")
+	return nil
+}
+
+// resumeWatches has the endpoint watches go on where the predecessor's stand: a complete list might be older than what it
+// has sent.
+func (l *lifecycle) resumeWatches(snapshot *engine.Snapshot) {
+	for name, p := range l.pools {
+		from := snapshot.Pool(name)
+		if from != nil && p.firstWatcher != nil && from.Source == p.config.Source() {
+			p.firstWatcher.StartAfter(from.Generation)
+		}
+	}
+}
+
+// WaitReady returns nil once the core could serve.
+func (l *lifecycle) WaitReady(ctx context.Context) error { return l.core.WaitReady(ctx) }
+
+// RestoreHandover restores the snapshot that came with the handover.
+func (l *lifecycle) RestoreHandover(snapshot []byte) {
+	l.restore(l.decodeState(snapshot, "at the handover"), "at the handover")
+}
+
+// decodeState decodes a snapshot. One that cannot be read is logged: then this generation starts with less.
+func (l *lifecycle) decodeState(encoded []byte, when string) *takeover.State {
+	state, err := takeover.DecodeState(encoded)
+	if err != nil {
+		l.log.Warn("beginning with less", "when", when, "error", err)
+		return nil
+	}
+	return state
+}
+
+// restore restores what the predecessor learned; nil is nothing.
+func (l *lifecycle) restore(state *takeover.State, when string) {
+	if state == nil {
+		return
+	}
+	age := max(0, takeover.Monotonic()-state.TakenAt)
+	skipped := l.core.Restore(state.Snapshot, age)
+	if plan := state.Snapshot.Maintenance; plan != nil {
+		from := l.clock.Now() - age
+		l.inheritedPlan = &engine.MaintenancePlan{
+			Stopped:       plan.Stopped,
+			Announced:     plan.Announced,
+			LeaseEnd:      from + plan.LeaseEnd,
+			DrainDeadline: from + plan.DrainDeadline,
+		}
+		l.core.ApplyMaintenancePlan(*l.inheritedPlan)
+	}
+	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(state.Snapshot.Pools),
+		"passed over", skipped)
+}
+
+// StartAlone starts without a predecessor, unless that was to be one in this process.
+func (l *lifecycle) StartAlone() error {
+	if l.inProcess {
+		return errorf("what served in this process has ended")
+	}
+	return l.serveAlone()
+}
+
+// StartError returns why this generation ends before it served; nil if it was told to stop.
+func (l *lifecycle) StartError(reason string) error {
+	if l.stop.Err() != nil {
+		return nil
+	}
+	return errorf("takeover: %s", reason)
+}
+
+// StartServing joins the fleet, and accepts clients and, where the configuration says so, successors.
+func (l *lifecycle) StartServing() {
+	l.serving = true
+	l.joinFleet()
+	for _, listener := range l.listeners {
+		listener.keepPath(false)
+		listener.accept(l.front)
+	}
+	l.closeUnusedListeners()
+	for _, conn := range l.earlyConns {
+		l.adopt(conn)
+	}
+	l.earlyConns = nil
+	l.listenForSuccessors()
+	l.log.Info("serving", "name", l.options.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
+	l.onServing()
+}
+
+// closeUnusedListeners closes the sockets that were offered and are not in this generation's file.
+func (l *lifecycle) closeUnusedListeners() {
+	for i, listener := range l.offeredListeners {
+		if listener == nil {
+			continue
+		}
+		if unix, ok := listener.(*net.UnixListener); ok {
+			unix.SetUnlinkOnClose(true)
+		}
+		listener.Close()
+		l.offeredListeners[i] = nil
+	}
+}
+
+// listenForSuccessors accepts successors at the configuration's path, on the predecessor's socket where it is the same.
+func (l *lifecycle) listenForSuccessors() {
+	path := l.options.Config.Takeover.Socket
+	if l.successorListener != nil && l.successorListener.Path() != path {
+		l.successorListener.KeepPath(false)
+		l.successorListener.Close()
+		l.successorListener = nil
+	}
+	if path != "" && l.successorListener == nil {
+		listener, err := takeover.Listen(path)
+		if err != nil {
+			l.log.Error("no process will be able to take over from this one", "socket", path, "error", err)
+		} else {
+			l.successorListener = listener
+		}
+	}
+	if l.successorListener != nil {
+		l.successorListener.KeepPath(false)
+		l.acceptSuccessors()
+	}
+}
+
+func (l *lifecycle) acceptSuccessors() {
+	listener := l.successorListener
+	listener.Pause(false)
+	l.accepting.Go(func() { l.AcceptSuccessors(l.ctx, listener, answerTimeout) })
+}
+
+// AdoptConnection serves a connection that the predecessor handed over, or holds it until this generation serves.
+func (l *lifecycle) AdoptConnection(conn net.Conn) {
+	if !l.serving {
+		l.earlyConns = append(l.earlyConns, conn)
+		return
+	}
+	l.adopt(conn)
+}
+
+// adopt serves a connection that was accepted by one of this generation's listeners, and closes any other.
+func (l *lifecycle) adopt(conn net.Conn) {
+	local := conn.LocalAddr()
+	for _, listener := range l.listeners {
+		addr := listener.socket.Addr()
+		if addr.Network() == local.Network() && addr.String() == local.String() {
+			l.front.Adopt(conn, listener.identify)
+			return
+		}
+	}
+	l.log.Warn("a connection of a listener that is not ours any more is closed", "listener", local.String())
+	conn.Close()
+}
+
+// PredecessorLeaving does nothing: the machine's own events are enough.
+func (l *lifecycle) PredecessorLeaving(*takeover.Conn) {}
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -289,7 +289,7 @@
 	go func() {
 		err := errors.New("the daemon ends")
 		done := make(chan struct{})
-		if to.loop.Post(func() { err = to.apply(c); close(done) }) {
+		if to.Loop.Post(func() { err = to.apply(c); close(done) }) {
 			<-done
 		}
 		p.post(func() { p.onApplied(err) })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,8 +29,6 @@
 	"dunlinsail/internal/upstream"
 )
 
-const stopAcceptDelay = 550 * time.Millisecond // after the order to stop: clients still connect for 0.4 s
-
 // ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listener, the
 // runtime, calls of discovery, the file of the configuration.
 const reservedSockets = 16
--- /dev/null
+++ b/internal/sidecar/successor.go
@@ -0,0 +1,98 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+
+	"dunlinsail/internal/takeover"
+)
+
+// The methods of this file carry out what the successor's state machine says (takeover.SuccessorHost).
+
+// ReceiveOffer notes the snapshot that is offered.
+func (l *lifecycle) ReceiveOffer(m takeover.Message) { l.offered = m.Payload }
+
+// StartWithOffer starts all but accepting. The endpoint watch goes on where the predecessor's stands: a complete list
+// might be older than what it has sent.
+func (l *lifecycle) StartWithOffer() error {
+	s := l.sidecar
+	if state, err := takeover.DecodeState(l.offered); err == nil {
+		if pool := state.Snapshot.Pool(""); pool != nil && pool.Source == s.config.Discovery {
+			s.firstWatcher.StartAfter(pool.Generation)
+		}
+	}
+	s.start()
+	s.core.ReceiveCordons(s.readCordons()...)
+	offered := l.offered
+	l.offered = nil
+	l.restore(offered, "at the start")
+	l.cordonPeers.add(l.PredecessorConn)
+	return nil
+}
+
+// WaitReady returns nil once requests could be served.
+func (l *lifecycle) WaitReady(ctx context.Context) error { return l.sidecar.core.WaitReady(ctx) }
+
+// RestoreHandover restores the snapshot that came with the handover.
+func (l *lifecycle) RestoreHandover(snapshot []byte) { l.restore(snapshot, "at the handover") }
+
+// restore restores what the predecessor learned. A snapshot that cannot be read is logged: then this process starts with
+// less.
+func (l *lifecycle) restore(snapshot []byte, when string) {
+	log := l.sidecar.log
+	state, err := takeover.DecodeState(snapshot)
+	if err != nil {
+		log.Warn("beginning with less", "when", when, "error", err)
+		return
+	}
+	skipped := l.sidecar.core.Restore(state.Snapshot, max(0, takeover.Monotonic()-state.TakenAt))
+	log.Info("what the other process learned is taken over", "when", when, "passed over", skipped)
+}
+
+// StartAlone starts with nothing but the cordons in the file, and serves.
+func (l *lifecycle) StartAlone() error {
+	l.sidecar.start()
+	l.sidecar.core.ReceiveCordons(l.sidecar.readCordons()...)
+	l.StartServing()
+	return nil
+}
+
+// StartError returns nil: the process was told to stop before it served.
+func (l *lifecycle) StartError(string) error { return nil }
+
+// StartServing accepts clients, and another process that wants to take over.
+func (l *lifecycle) StartServing() {
+	log := l.sidecar.log
+	l.accept()
+	for _, conn := range l.earlyConns {
+		l.sidecar.front.Adopt(conn, l.sidecar.identify)
+	}
+	l.earlyConns = nil
+	if path := l.socketPath(); path != "" {
+		listener, err := takeover.Replace(path)
+		l.successorListener = listener
+		if err != nil {
+			log.Error("no process will be able to take over from this one", "error", err)
+		} else {
+			l.Loop.Goroutines.Go(func() { l.AcceptSuccessors(context.Background(), listener, answerTimeout) })
+		}
+	}
+	log.Info("serving", "name", l.sidecar.config.Name, "listen", l.listener.Addr().String())
+}
+
+// AdoptConnection serves a connection that the predecessor handed over, or holds it until this process serves.
+func (l *lifecycle) AdoptConnection(conn net.Conn) {
+	if l.sidecar.accepting.Load() {
+		l.sidecar.front.Adopt(conn, l.sidecar.identify)
+		return
+	}
+	l.earlyConns = append(l.earlyConns, conn)
+}
+
+// PredecessorLeaving ends the exchange of cordons with the predecessor.
+func (l *lifecycle) PredecessorLeaving(conn *takeover.Conn) {
+	if !l.Successor.Serving() || l.Successor.ReceivesConnections() {
+		l.sidecar.log.Warn("the process before is not heard any more", "while", l.Successor.String())
+	}
+	l.cordonPeers.remove(conn)
+}
--- /dev/null
+++ b/internal/takeover/predecessor.go
@@ -0,0 +1,138 @@
+package takeover
+
+import (
+	"context"
+	"time"
+
+	decide "dunlinsail/internal/decide/takeover"
+)
+
+// AcceptSuccessors accepts processes that want to take over, until the listener is paused or closed. Each has
+// helloTimeout to say so: one that sends nothing keeps nobody from taking over. It may run on any goroutine;
+// connections that have sent nothing are closed when ctx ends.
+func (l *Lifecycle) AcceptSuccessors(ctx context.Context, listener *Listener, helloTimeout time.Duration) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		l.ReadHello(ctx, conn, helloTimeout)
+	}
+}
+
+// ReadHello reads the first message of a process that has connected, on a goroutine of its own.
+func (l *Lifecycle) ReadHello(ctx context.Context, conn *Conn, timeout time.Duration) {
+	l.Loop.Goroutines.Go(func() {
+		release := context.AfterFunc(ctx, func() { conn.Close() })
+		m, err := conn.ReadWithin(timeout)
+		release()
+		m.CloseFiles()
+		if err != nil || !l.Loop.Post(func() { l.onHello(conn, m) }) {
+			conn.Close()
+		}
+	})
+}
+
+// onHello begins as the predecessor of a process that has connected, if it is the only one.
+func (l *Lifecycle) onHello(conn *Conn, m Message) {
+	problem := HelloProblem(m)
+	if problem == "" && l.SuccessorConn != nil {
+		problem = "another takeover is under way"
+	}
+	if problem != "" {
+		l.log.Warn("a process that wants to take over is turned away", "reason", problem)
+		conn.Reject(problem)
+		return
+	}
+	l.SuccessorConn = conn
+	l.Loop.Read(conn, l.onSuccessorMessage)
+	l.StepPredecessor(decide.Hello)
+}
+
+func (l *Lifecycle) onSuccessorMessage(conn *Conn, m Message) {
+	m.CloseFiles()
+	if conn != l.SuccessorConn {
+		return
+	}
+	switch m.Kind {
+	case Cordons:
+		l.host.ReceiveCordons(m.Payload)
+		return
+	case decide.Rejected, decide.ConnectionLost:
+		l.log.Warn("takeover ended by the other process", "while", l.Predecessor.String(), "reason", string(m.Payload))
+	}
+	l.StepPredecessor(m.Kind)
+}
+
+// StepPredecessor passes an event to the predecessor's machine and carries out its steps.
+func (l *Lifecycle) StepPredecessor(e decide.Event) {
+	for _, step := range l.Predecessor.Step(now(), e) {
+		l.log.Debug("takeover", "event", e.String(), "action", step.Action.String(), "message", step.Message.String())
+		l.carryOutPredecessor(step)
+	}
+	if yes := l.Predecessor.HandingOver(); yes != l.handingOver {
+		l.handingOver = yes
+		l.host.HandingOver(yes)
+	}
+}
+
+func (l *Lifecycle) carryOutPredecessor(step decide.Step) {
+	switch step.Action {
+	case decide.Send:
+		l.sendToSuccessor(step)
+	case decide.Disconnect:
+		l.disconnectSuccessor()
+	case decide.StopAccepting:
+		l.snapshot = l.host.StopAccepting()
+	case decide.ResumeServing:
+		l.log.Info("serving on, as before")
+		l.StepSuccessor(decide.Resumed, "")
+		l.drainedEarly = false
+		l.host.ResumeServing()
+	case decide.HandOverConnections:
+		l.host.HandOverConnections(l.SuccessorConn)
+	case decide.Drain:
+		l.host.Drain()
+	case decide.DrainForSuccessor:
+		l.log.Info("ending, another process serves")
+		l.frontend.Release(nil)
+		l.frontend.Quiesce()
+		l.WaitUntilDrained()
+	case decide.CloseRemaining:
+		l.host.CloseRemaining()
+	case decide.Exit:
+		l.End(nil)
+	}
+}
+
+func (l *Lifecycle) disconnectSuccessor() {
+	if l.SuccessorConn == nil {
+		return
+	}
+	l.host.SuccessorLeaving(l.SuccessorConn)
+	l.SuccessorConn.Close()
+	l.SuccessorConn = nil
+}
+
+func (l *Lifecycle) sendToSuccessor(step decide.Step) {
+	if l.SuccessorConn == nil {
+		return
+	}
+	m := Message{Kind: step.Message, Payload: []byte(step.Reason)}
+	switch step.Message {
+	case decide.Offer:
+		l.log.Info("another wants to take over")
+		m = l.host.Offer(l.SuccessorConn)
+	case decide.Handover:
+		m.Payload = l.snapshot
+		l.snapshot = nil
+	case decide.Activate:
+		l.StepSuccessor(decide.HandedOver, "") // before the other side accepts
+		l.host.Activating()
+		l.log.Info("handed over", "waiting for", "open requests and connections")
+	}
+	if err := l.SuccessorConn.Write(m); err != nil {
+		l.host.SendFailed(err)
+		l.Loop.PostConnectionLost(l.SuccessorConn, err, l.onSuccessorMessage)
+	}
+}
