--- a/internal/decide/takeover/takeover_test.go
+++ b/internal/decide/takeover/takeover_test.go
@@ -12,7 +12,7 @@
 
 var times = Times{Ready: 10, Answer: 2, Drain: 5}
 
-// wire is one direction between the two: what is under way, and whether its sender has hung up behind that.
+// wire is one direction between the two: the messages under way, and whether its sender has disconnected behind them.
 type wire struct {
 	messages []Event
 	ended    bool
@@ -20,80 +20,80 @@
 
 // side is one process.
 type side struct {
-	alive  bool
-	hung   bool // it has ended its connection
-	stop   bool // it was told to stop
-	accept bool
-	cold   bool // it may give cold endpoints what they may get
-	over   bool
+	alive        bool
+	disconnected bool // it has ended its connection
+	stop         bool // it was told to stop
+	accept       bool
+	warmsUp      bool // it spends the budget of endpoints that are warming up
+	ended        bool
 }
 
 // state is all there is at an instant.
 type state struct {
-	giver    Predecessor
-	taker    Successor
-	g, t     side
-	toG, toT wire
-	started  bool // the taker's host could serve
-	killed   bool // one of the two was
-	late     bool // a time was up
-	taken    bool
-	third    bool // the taker has given on to another, which accepts
-	lost     bool // that one was lost, once
-	path     string
+	predecessor                    Predecessor
+	successor                      Successor
+	predecessorSide, successorSide side
+	toPredecessor, toSuccessor     wire
+	started                        bool // the successor's host could serve
+	killed                         bool // one of the two was
+	timedOut                       bool // a time was up
+	restored                       bool
+	third                          bool // the successor has a successor of its own, which accepts
+	thirdLost                      bool // that one was lost, once
+	path                           string
 }
 
 func (s state) key() string {
 	s.path = ""
-	s.giver.deadline = min(1, s.giver.deadline) // any time may have passed
-	s.taker.deadline = min(1, s.taker.deadline)
+	s.predecessor.deadline = min(1, s.predecessor.deadline) // any time may have passed
+	s.successor.deadline = min(1, s.successor.deadline)
 	return fmt.Sprintf("%+v", s)
 }
 
 func (s state) clone() state {
-	s.toG.messages = slices.Clone(s.toG.messages)
-	s.toT.messages = slices.Clone(s.toT.messages)
+	s.toPredecessor.messages = slices.Clone(s.toPredecessor.messages)
+	s.toSuccessor.messages = slices.Clone(s.toSuccessor.messages)
 	return s
 }
 
-func (s *state) giverSteps(steps []Step) {
+func (s *state) carryOutPredecessor(steps []Step) {
 	for _, x := range steps {
 		switch x.Action {
 		case Send:
-			if !s.g.hung {
-				s.toT.messages = append(s.toT.messages, x.Message)
+			if !s.predecessorSide.disconnected {
+				s.toSuccessor.messages = append(s.toSuccessor.messages, x.Message)
 			}
 		case Disconnect:
-			s.g.hung, s.toT.ended = true, true
+			s.predecessorSide.disconnected, s.toSuccessor.ended = true, true
 		case StopAccepting:
-			s.g.accept, s.g.cold = false, false
+			s.predecessorSide.accept, s.predecessorSide.warmsUp = false, false
 		case ResumeServing:
-			s.g.accept, s.g.cold = true, true
+			s.predecessorSide.accept, s.predecessorSide.warmsUp = true, true
 		case Drain, DrainForSuccessor:
-			s.g.accept, s.g.cold = false, false
+			s.predecessorSide.accept, s.predecessorSide.warmsUp = false, false
 		case Exit:
-			s.g.over, s.g.alive, s.g.accept, s.g.cold = true, false, false, false
-			s.g.hung, s.toT.ended = true, true
+			s.predecessorSide.ended, s.predecessorSide.alive, s.predecessorSide.accept, s.predecessorSide.warmsUp = true, false, false, false
+			s.predecessorSide.disconnected, s.toSuccessor.ended = true, true
 		}
 	}
 }
 
-func (s *state) takerSteps(steps []Step) {
+func (s *state) carryOutSuccessor(steps []Step) {
 	for _, x := range steps {
 		switch x.Action {
 		case Send:
-			if !s.t.hung {
-				s.toG.messages = append(s.toG.messages, x.Message)
+			if !s.successorSide.disconnected {
+				s.toPredecessor.messages = append(s.toPredecessor.messages, x.Message)
 			}
 		case Disconnect:
-			s.t.hung, s.toG.ended = true, true
+			s.successorSide.disconnected, s.toPredecessor.ended = true, true
 		case RestoreState:
-			s.taken = true
+			s.restored = true
 		case StartServing, StartAlone:
-			s.t.accept, s.t.cold = true, true
+			s.successorSide.accept, s.successorSide.warmsUp = true, true
 		case Fail:
-			s.t.over, s.t.alive = true, false
-			s.t.hung, s.toG.ended = true, true
+			s.successorSide.ended, s.successorSide.alive = true, false
+			s.successorSide.disconnected, s.toPredecessor.ended = true, true
 		}
 	}
 }
@@ -107,93 +107,141 @@
 		n.path += " " + name
 		all = append(all, n)
 	}
-	if s.g.alive {
-		if len(s.toG.messages) > 0 && !s.g.hung {
-			add("g<"+s.toG.messages[0].String(), func(n *state) {
-				e := n.toG.messages[0]
-				n.toG.messages = n.toG.messages[1:]
-				n.giverSteps(n.giver.Step(0, e))
-			})
-		} else if s.toG.ended && !s.g.hung {
-			add("g<broken", func(n *state) { n.giverSteps(n.giver.Step(0, ConnectionLost)) })
-		}
-		if d := s.giver.Deadline(); d != 0 {
-			add("g:wake", func(n *state) { n.late = true; n.giverSteps(n.giver.Step(d, DeadlineReached)) })
-		}
-		if !s.g.stop {
-			add("g:stop", func(n *state) { n.g.stop = true; n.giverSteps(n.giver.Step(0, Stop)) })
-		}
-		if s.giver.state == handingOver || s.giver.state == draining {
-			add("g:drained", func(n *state) { n.giverSteps(n.giver.Step(0, Drained)) })
-		}
-		add("g:killed", func(n *state) {
-			n.killed = true
-			n.g.alive, n.g.accept, n.g.cold, n.g.hung, n.toT.ended = false, false, false, true, true
+	if s.predecessorSide.alive {
+		s.predecessorEvents(add)
+	}
+	if s.successorSide.alive {
+		s.successorEvents(add)
+	}
+	return all
+}
+
+// predecessorEvents adds what may happen at the predecessor.
+func (s state) predecessorEvents(add func(name string, change func(*state))) {
+	step := func(n *state, now monotime.Micros, e Event) { n.carryOutPredecessor(n.predecessor.Step(now, e)) }
+	if len(s.toPredecessor.messages) > 0 && !s.predecessorSide.disconnected {
+		add("g<"+s.toPredecessor.messages[0].String(), func(n *state) {
+			e := n.toPredecessor.messages[0]
+			n.toPredecessor.messages = n.toPredecessor.messages[1:]
+			step(n, 0, e)
 		})
+	} else if s.toPredecessor.ended && !s.predecessorSide.disconnected {
+		add("g<broken", func(n *state) { step(n, 0, ConnectionLost) })
 	}
-	if s.t.alive {
-		if len(s.toT.messages) > 0 && !s.t.hung {
-			add("t<"+s.toT.messages[0].String(), func(n *state) {
-				e := n.toT.messages[0]
-				n.toT.messages = n.toT.messages[1:]
-				n.takerSteps(n.taker.Step(0, e, ""))
-			})
-		} else if s.toT.ended && !s.t.hung {
-			add("t<broken", func(n *state) { n.takerSteps(n.taker.Step(0, ConnectionLost, "")) })
-		}
-		if s.taker.state == starting && !s.started {
-			add("t:started", func(n *state) { n.started = true; n.takerSteps(n.taker.Step(0, Started, "")) })
-		}
-		if d := s.taker.Deadline(); d != 0 {
-			add("t:wake", func(n *state) { n.late = true; n.takerSteps(n.taker.Step(d, DeadlineReached, "")) })
-		}
-		if !s.t.stop {
-			add("t:stop", func(n *state) {
-				n.t.stop = true
-				n.takerSteps(n.taker.Step(0, Stop, ""))
-				n.t.accept = false
-			})
-		}
-		if s.t.accept && !s.t.stop && !s.lost {
-			add("t:gives-on", func(n *state) {
-				n.takerSteps(n.taker.Step(0, HandedOver, ""))
-				n.t.accept, n.t.cold, n.third = false, false, true
-			})
-		}
-		if s.third {
-			add("t:takes-back", func(n *state) {
-				n.takerSteps(n.taker.Step(0, Resumed, ""))
-				n.t.accept, n.t.cold, n.third, n.lost = !n.t.stop, !n.t.stop, false, true
-			})
-			add("t:ends", func(n *state) {
-				n.t.alive, n.t.over, n.t.hung, n.toG.ended = false, true, true, true
-			})
-		}
-		add("t:killed", func(n *state) {
-			n.killed = true
-			n.t.alive, n.t.accept, n.t.cold, n.t.hung, n.toG.ended = false, false, false, true, true
+	if deadline := s.predecessor.Deadline(); deadline != 0 {
+		add("g:wake", func(n *state) {
+			n.timedOut = true
+			step(n, deadline, DeadlineReached)
 		})
 	}
-	return all
+	if !s.predecessorSide.stop {
+		add("g:stop", func(n *state) {
+			n.predecessorSide.stop = true
+			step(n, 0, Stop)
+		})
+	}
+	if s.predecessor.state == handingOver || s.predecessor.state == draining {
+		add("g:drained", func(n *state) { step(n, 0, Drained) })
+	}
+	add("g:killed", func(n *state) {
+		n.killed = true
+		n.predecessorSide.kill()
+		n.toSuccessor.ended = true
+	})
+}
+
+// successorEvents adds what may happen at the successor.
+func (s state) successorEvents(add func(name string, change func(*state))) {
+	step := func(n *state, now monotime.Micros, e Event) { n.carryOutSuccessor(n.successor.Step(now, e, "")) }
+	if len(s.toSuccessor.messages) > 0 && !s.successorSide.disconnected {
+		add("t<"+s.toSuccessor.messages[0].String(), func(n *state) {
+			e := n.toSuccessor.messages[0]
+			n.toSuccessor.messages = n.toSuccessor.messages[1:]
+			step(n, 0, e)
+		})
+	} else if s.toSuccessor.ended && !s.successorSide.disconnected {
+		add("t<broken", func(n *state) { step(n, 0, ConnectionLost) })
+	}
+	if s.successor.state == starting && !s.started {
+		add("t:started", func(n *state) {
+			n.started = true
+			step(n, 0, Started)
+		})
+	}
+	if deadline := s.successor.Deadline(); deadline != 0 {
+		add("t:wake", func(n *state) {
+			n.timedOut = true
+			step(n, deadline, DeadlineReached)
+		})
+	}
+	if !s.successorSide.stop {
+		add("t:stop", func(n *state) {
+			n.successorSide.stop = true
+			step(n, 0, Stop)
+			n.successorSide.accept = false
+		})
+	}
+	s.thirdEvents(add)
+	add("t:killed", func(n *state) {
+		n.killed = true
+		n.successorSide.kill()
+		n.toPredecessor.ended = true
+	})
+}
+
+// thirdEvents adds what may happen between the successor and a successor of its own.
+func (s state) thirdEvents(add func(name string, change func(*state))) {
+	if s.successorSide.accept && !s.successorSide.stop && !s.thirdLost {
+		add("t:gives-on", func(n *state) {
+			n.carryOutSuccessor(n.successor.Step(0, HandedOver, ""))
+			n.successorSide.accept = false
+			n.successorSide.warmsUp = false
+			n.third = true
+		})
+	}
+	if !s.third {
+		return
+	}
+	add("t:takes-back", func(n *state) {
+		n.carryOutSuccessor(n.successor.Step(0, Resumed, ""))
+		n.successorSide.accept = !n.successorSide.stop
+		n.successorSide.warmsUp = !n.successorSide.stop
+		n.third = false
+		n.thirdLost = true
+	})
+	add("t:ends", func(n *state) {
+		n.successorSide.alive = false
+		n.successorSide.ended = true
+		n.successorSide.disconnected = true
+		n.toPredecessor.ended = true
+	})
+}
+
+// kill ends a process at once.
+func (s *side) kill() {
+	s.alive = false
+	s.accept = false
+	s.warmsUp = false
+	s.disconnected = true
 }
 
-// Whatever is killed, stopped, late or lost, at whatever moment: never do two accept at once or spend what cold
-// endpoints may get, and unless both are gone or somebody was told to stop, one serves in the end.
+// Whatever is killed, stopped, late or lost, at whatever moment: never do two accept at once or spend the budget of
+// endpoints that are warming up, and unless both are gone or one was told to stop, one serves in the end.
 func TestEveryInterleaving(t *testing.T) {
-	first := state{giver: Predecessor{Times: times}, taker: Successor{Times: times}, g: side{alive: true, accept: true, cold: true},
-		t: side{alive: true}}
-	first.takerSteps(first.taker.Connected(0))
+	first := state{predecessor: Predecessor{Times: times}, successor: Successor{Times: times}, predecessorSide: side{alive: true, accept: true, warmsUp: true},
+		successorSide: side{alive: true}}
+	first.carryOutSuccessor(first.successor.Connected(0))
 	seen := map[string]bool{first.key(): true}
 	queue := []state{first}
 	ends, handed, passed := 0, 0, 0
 	for len(queue) > 0 {
 		s := queue[0]
 		queue = queue[1:]
-		if s.g.accept && (s.t.accept || s.third) {
+		if s.predecessorSide.accept && (s.successorSide.accept || s.third) {
 			t.Fatalf("two accept after:%s", s.path)
 		}
-		if s.g.cold && (s.t.cold || s.third) {
-			t.Fatalf("two give to cold endpoints after:%s", s.path)
+		if s.predecessorSide.warmsUp && (s.successorSide.warmsUp || s.third) {
+			t.Fatalf("two spend the warm-up budget after:%s", s.path)
 		}
 		// What is left to happen by itself, with nobody killed or stopped any more, and what without a time-out?
 		quiet, still := true, true
@@ -214,28 +262,28 @@
 		}
 		ends++
 		switch {
-		case s.t.accept && s.taken && s.g.over:
+		case s.successorSide.accept && s.restored && s.predecessorSide.ended:
 			handed++
-		case s.g.accept || s.t.accept || s.third:
-			passed += btoi(s.third && s.g.over)
-		case s.lost && !s.t.alive: // the last of three and the one before it
-		case s.t.stop: // meant so
-		case s.g.stop && (s.killed || s.late): // the only one left, or the last, was told to stop
-		case !s.g.alive && !s.t.alive && s.killed: // nobody is left
+		case s.predecessorSide.accept || s.successorSide.accept || s.third:
+			passed += boolToInt(s.third && s.predecessorSide.ended)
+		case s.thirdLost && !s.successorSide.alive: // the last of three and the one before it
+		case s.successorSide.stop: // meant so
+		case s.predecessorSide.stop && (s.killed || s.timedOut): // the only one left, or the last, was told to stop
+		case !s.predecessorSide.alive && !s.successorSide.alive && s.killed: // nobody is left
 		default:
-			t.Fatalf("nobody serves after:%s\n%+v", s.path, s)
+			t.Fatalf("no process serves after:%s\n%+v", s.path, s)
 		}
 		if !quiet {
 			continue
 		}
-		if s.g.alive && s.giver.HandingOver() {
-			t.Fatalf("the giver is stuck while %v after:%s", &s.giver, s.path)
+		if s.predecessorSide.alive && s.predecessor.HandingOver() {
+			t.Fatalf("the predecessor is stuck while %v after:%s", &s.predecessor, s.path)
 		}
-		if s.t.alive && !s.t.accept && !s.t.stop && !s.third {
-			t.Fatalf("the taker is stuck while %v after:%s", &s.taker, s.path)
+		if s.successorSide.alive && !s.successorSide.accept && !s.successorSide.stop && !s.third {
+			t.Fatalf("the successor is stuck while %v after:%s", &s.successor, s.path)
 		}
-		if !s.t.alive && s.g.alive && !s.g.accept && !s.g.stop && !s.t.stop && !s.third && !s.lost {
-			t.Fatalf("the giver serves no more after:%s", s.path)
+		if !s.successorSide.alive && s.predecessorSide.alive && !s.predecessorSide.accept && !s.predecessorSide.stop && !s.successorSide.stop && !s.third && !s.thirdLost {
+			t.Fatalf("the predecessor serves no more after:%s", s.path)
 		}
 	}
 	if len(seen) < 500 || ends < 20 || handed == 0 || passed == 0 {
@@ -244,15 +292,15 @@
 	t.Logf("%d states, %d ends", len(seen), ends)
 }
 
-func btoi(b bool) int {
+func boolToInt(b bool) int {
 	if b {
 		return 1
 	}
 	return 0
 }
 
-// The usual way, step by step.
-func TestUsualWay(t *testing.T) {
+// TestHotRestartWithoutFaults goes through all steps in order.
+func TestHotRestartWithoutFaults(t *testing.T) {
 	g, k := Predecessor{Times: times}, Successor{Times: times}
 	log := func(steps []Step) string {
 		var b strings.Builder
@@ -271,42 +319,43 @@
 	}{
 		{k.Connected(0), "send hello"},
 		{g.Step(0, Hello), "send offer"},
-		{k.Step(1, Offer, ""), "start"},
+		{k.Step(1, Offer, ""), "start with offer"},
 		{k.Step(4, Started, ""), "send ready"},
-		{g.Step(4, Ready), "close send go"},
-		{k.Step(5, Handover, ""), "take send prepared"},
-		{g.Step(5, Prepared), "send yours release"},
-		{k.Step(5, Activate, ""), "accept"},
-		{g.Step(7, Drained), "send done hang end"},
-		{k.Step(7, Done, ""), "hang"},
+		{g.Step(4, Ready), "stop accepting send handover"},
+		{k.Step(5, Handover, ""), "restore state send prepared"},
+		{g.Step(5, Prepared), "send activate hand over connections"},
+		{k.Step(5, Activate, ""), "start serving"},
+		{g.Step(7, Drained), "send done disconnect exit"},
+		{k.Step(7, Done, ""), "disconnect"},
 	} {
 		if got := log(tc.got); got != tc.want {
 			t.Errorf("%q, want %q", got, tc.want)
 		}
 	}
 	if k.Deadline() != 0 || g.Deadline() != 0 || !k.Serving() {
-		t.Errorf("giver %v, taker %v", &g, &k)
+		t.Errorf("predecessor %v, successor %v", &g, &k)
 	}
 }
 
-// A taker that is told to stop while connections are still handed to it says so: the giver must not serve on.
-func TestStopWhileConnectionsAreHandedOver(t *testing.T) {
+// A successor that is told to stop while connections are still handed to it says so: the predecessor must not
+// serve on.
+func TestSuccessorStopsWhileConnectionsAreHandedOver(t *testing.T) {
 	g, k := Predecessor{Times: times, state: handingOver, deadline: 9}, Successor{Times: times, state: accepting}
 	steps := k.Step(1, Stop, "")
 	if len(steps) != 1 || steps[0].Message != Stopping {
-		t.Fatalf("the taker: %+v", steps)
+		t.Fatalf("the successor: %+v", steps)
 	}
 	steps = g.Step(1, Stopping)
 	if len(steps) != 2 || steps[1].Action != Drain || g.Deadline() != 9 {
-		t.Errorf("the giver: %+v until %d", steps, g.Deadline())
+		t.Errorf("the predecessor: %+v until %d", steps, g.Deadline())
 	}
 	if steps = g.Step(2, ConnectionLost); steps != nil {
 		t.Errorf("then: %+v", steps)
 	}
 }
 
-// A taker that hangs is let go at its deadline and not before, and told so.
-func TestTakerThatHangs(t *testing.T) {
+// A successor that hangs is rejected at its deadline and not before.
+func TestHungSuccessorIsRejectedAtItsDeadline(t *testing.T) {
 	g := Predecessor{Times: times}
 	g.Step(0, Hello)
 	if !g.HandingOver() || g.Deadline() != 10 {
@@ -325,8 +374,8 @@
 	}
 }
 
-// A taker that is sure of its sockets serves in time whatever the giver does, and ends for nobody but who stops it.
-func TestSureTakerServesInTime(t *testing.T) {
+// A successor that owns its sockets serves in time whatever the predecessor does, and fails only when it is stopped.
+func TestSuccessorThatOwnsSocketsServesInTime(t *testing.T) {
 	times := Times{Ready: 2_000_000, Answer: 1_000_000, Drain: 30_000_000}
 	from := []Event{Offer, Handover, Activate, Done, Rejected, ConnectionLost, Hello, Prepared}
 	for seed := range uint64(2000) {
@@ -347,7 +396,7 @@
 					t.Fatalf("seed %d: failed: %s", seed, s.Reason)
 				case Send:
 					if hung {
-						t.Fatalf("seed %d: sends %v to a giver it has hung up on", seed, s.Message)
+						t.Fatalf("seed %d: sends %v to a predecessor it has disconnected from", seed, s.Message)
 					}
 				}
 			}
