--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -1,6 +1,3 @@
-// Package takeover carries a takeover's messages between two processes of one host: over a unix socket that keeps
-// messages apart, with open files beside them (SCM_RIGHTS, unix(7)). It decides nothing: package decide/takeover
-// does, and package daemon carries out what follows.
 package takeover
 
 import (
@@ -18,13 +15,15 @@
 // Message is one message. Which fields it has depends on its kind.
 type Message struct {
 	Kind    decide.Event
-	Payload []byte         // Hello: the version; Offer: what is offered; Refused: the reason
-	Sockets []syscall.Conn // to write. Offer: the listening sockets; Handed: one connection
-	Files   []*os.File     // as read
+	Payload []byte // Hello: the version; Offer: what is offered; Handover: the snapshot; Rejected: the reason
+	// Sockets are sent with the message. Offer: the listening sockets; ConnectionHandedOver: one connection.
+	Sockets []syscall.Conn
+	Files   []*os.File // that were received
 }
 
-// Handed is a connection at rest, from giver to taker. Chunk is a part of what the next message says. Words are what was
-// said by hand of endpoints, from either side.
+// Kinds of messages beside those of package decide/takeover: ConnectionHandedOver is an idle connection, from
+// predecessor to successor. A chunk is the beginning of the next message's payload. Cordons are what an
+// operator set at either side.
 const (
 	ConnectionHandedOver decide.Event = 100 + iota
 	chunk
@@ -40,23 +39,24 @@
 
 // Conn is a connection to the other side. Many goroutines may write, and one read.
 type Conn struct {
-	socket  *net.UnixConn
-	writing sync.Mutex // one message is written at a time
+	unixConn *net.UnixConn
+	writing  sync.Mutex // one message is written at a time
 }
 
-// Dial connects to the giver that listens at a path. An error that wraps syscall.ENOENT or syscall.ECONNREFUSED
-// means that none does.
+// Dial connects to the predecessor that listens at a path. An error that wraps syscall.ENOENT or syscall.ECONNREFUSED
+// means that there is none.
 func Dial(path string) (*Conn, error) {
 	c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{socket: c}, nil
+	return &Conn{unixConn: c}, nil
 }
 
-// Pair returns both ends of a connection between a giver and a taker in one process.
-func Pair() (giver, taker *Conn, err error) {
-	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+// Pair returns both ends of a connection between a predecessor and a successor in one process.
+func Pair() (predecessor, successor *Conn, err error) {
+	const kind = syscall.SOCK_SEQPACKET | syscall.SOCK_CLOEXEC | syscall.SOCK_NONBLOCK
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, kind, 0)
 	if err != nil {
 		return nil, nil, fmt.Errorf("socketpair: %w", err)
 	}
@@ -73,16 +73,16 @@
 			}
 			return nil, nil, err
 		}
-		ends[i] = &Conn{socket: c.(*net.UnixConn)}
+		ends[i] = &Conn{unixConn: c.(*net.UnixConn)}
 	}
 	return ends[0], ends[1], nil
 }
 
-// Listener accepts takers.
+// Listener accepts successors.
 type Listener struct{ socket *net.UnixListener }
 
-// Listen listens for takers at a path. A socket that is left there by a process that has gone is replaced. Only
-// the user that the process runs as may connect.
+// Listen listens for successors at a path. A socket that a process which has ended left there is replaced. Only the
+// user that the process runs as may connect.
 func Listen(path string) (*Listener, error) {
 	if err := RemoveStale("unixpacket", path); err != nil {
 		return nil, err
@@ -98,8 +98,8 @@
 	return &Listener{ln}, nil
 }
 
-// RemoveStale removes a unix socket at which nobody listens any more. What is no socket, or is listened on, is an
-// error.
+// RemoveStale removes a unix socket at which no process listens any more. It is an error if the path is no
+// socket, or a process listens there (syscall.EADDRINUSE).
 func RemoveStale(network, path string) error {
 	info, err := os.Lstat(path)
 	switch {
@@ -121,11 +121,11 @@
 	return os.Remove(path)
 }
 
-// Replace listens for takers at a path in place of whoever listens there, from one moment to the next: who takes over from
-// the one before us has come to us. The path stays when the listener is closed, since it may be the next one's by then.
+// Replace listens for successors at a path in place of the process that listens there, atomically. The path
+// stays when the listener is closed, since it may be the next process's by then.
 func Replace(path string) (*Listener, error) {
 	own := fmt.Sprintf("%s.%d", path, os.Getpid())
-	os.Remove(own) // of a process that had our number
+	os.Remove(own) // left by a process that had our number
 	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: own, Net: "unixpacket"})
 	if err != nil {
 		return nil, err
@@ -156,16 +156,16 @@
 	return &Listener{u}, nil
 }
 
-// Path returns where the listener listens.
+// Path returns the listener's path.
 func (l *Listener) Path() string { return l.socket.Addr().String() }
 
-// Sock returns the listening socket, to be passed on.
+// Socket returns the listening socket, to be passed on.
 func (l *Listener) Socket() syscall.Conn { return l.socket }
 
-// Keep says whether the socket's path stays when it is closed: another process may listen on it.
+// KeepPath sets whether the socket's path stays when it is closed: another process may listen on it.
 func (l *Listener) KeepPath(yes bool) { l.socket.SetUnlinkOnClose(!yes) }
 
-// Pause makes Accept return os.ErrDeadlineExceeded, or ends that. Whoever connects meanwhile waits.
+// Pause makes Accept return os.ErrDeadlineExceeded, or ends that. Processes that connect meanwhile wait.
 func (l *Listener) Pause(yes bool) { l.socket.SetDeadline(pauseDeadline(yes)) }
 
 func pauseDeadline(yes bool) time.Time {
@@ -175,29 +175,29 @@
 	return time.Time{}
 }
 
-// Accept waits for a taker.
+// Accept waits for a successor.
 func (l *Listener) Accept() (*Conn, error) {
 	c, err := l.socket.AcceptUnix()
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{socket: c}, nil
+	return &Conn{unixConn: c}, nil
 }
 
-// Close ends the listener.
+// Close closes the listener.
 func (l *Listener) Close() error { return l.socket.Close() }
 
-// Close ends the connection.
-func (c *Conn) Close() error { return c.socket.Close() }
+// Close closes the connection.
+func (c *Conn) Close() error { return c.unixConn.Close() }
 
-// Write sends a message. Its sockets stay open here.
+// Write sends a message within writeTimeout. Its sockets stay open here.
 func (c *Conn) Write(m Message) error {
 	if len(m.Sockets) > maxFiles {
 		return fmt.Errorf("%d open files are too many for one message", len(m.Sockets))
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.unixConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for len(m.Payload) > maxChunk {
 		if err := c.writePacket(chunk, m.Payload[:maxChunk], nil); err != nil {
 			return err
@@ -207,7 +207,7 @@
 	return withDescriptors(m.Sockets, nil, func(fds []int) error { return c.writePacket(m.Kind, m.Payload, fds) })
 }
 
-// withFDs calls f with the sockets' descriptors, which stay open meanwhile. net.Conn.File would make them
+// withDescriptors calls f with the sockets' descriptors, which stay open meanwhile. net.Conn.File would make them
 // blocking, here and in the other process alike, as soon as their number was asked for.
 func withDescriptors(socks []syscall.Conn, fds []int, f func([]int) error) error {
 	if len(socks) == 0 {
@@ -217,8 +217,9 @@
 	if err != nil {
 		return err
 	}
-	if broken := raw.Control(func(fd uintptr) { err = withDescriptors(socks[1:], append(fds, int(fd)), f) }); broken != nil {
-		return broken
+	failed := raw.Control(func(fd uintptr) { err = withDescriptors(socks[1:], append(fds, int(fd)), f) })
+	if failed != nil {
+		return failed
 	}
 	return err
 }
@@ -228,25 +229,25 @@
 	if len(fds) > 0 {
 		rights = syscall.UnixRights(fds...)
 	}
-	_, _, err := c.socket.WriteMsgUnix(append([]byte{byte(kind)}, text...), rights, nil)
+	_, _, err := c.unixConn.WriteMsgUnix(append([]byte{byte(kind)}, text...), rights, nil)
 	return err
 }
 
-// ReadWithin waits for a message for so long.
+// ReadWithin reads a message, and waits for it so long at most.
 func (c *Conn) ReadWithin(d time.Duration) (Message, error) {
-	c.socket.SetReadDeadline(time.Now().Add(d))
-	defer c.socket.SetReadDeadline(time.Time{})
+	c.unixConn.SetReadDeadline(time.Now().Add(d))
+	defer c.unixConn.SetReadDeadline(time.Time{})
 	return c.Read()
 }
 
-// Read waits for a message. Its files are the reader's to close. What makes no sense is an error, and so is the
-// connection's end.
+// Read waits for a message. The caller closes its files. A malformed message is an error, and so is the connection's
+// end.
 func (c *Conn) Read() (Message, error) {
 	var m Message
 	buf := make([]byte, 1+maxChunk)
 	oob := make([]byte, syscall.CmsgSpace(4*maxFiles))
 	for {
-		n, oobn, flags, _, err := c.socket.ReadMsgUnix(buf, oob)
+		n, oobn, flags, _, err := c.unixConn.ReadMsgUnix(buf, oob)
 		if err != nil {
 			return m, err
 		}
@@ -283,7 +284,7 @@
 	m.Files = nil
 }
 
-// received returns the files that came with a message.
+// receivedFiles returns the files that came with a message.
 func receivedFiles(oob []byte) ([]*os.File, error) {
 	var files []*os.File
 	messages, err := syscall.ParseSocketControlMessage(oob)
@@ -303,7 +304,7 @@
 	return files, nil
 }
 
-// Hand passes a connection at rest on. Our own end stays open: the caller closes it.
+// HandOver sends an idle connection. Its descriptor here stays open: the caller closes it.
 func (c *Conn) HandOver(nc net.Conn) error {
 	sock, ok := nc.(syscall.Conn)
 	if !ok {
--- a/internal/takeover/golden_test.go
+++ b/internal/takeover/golden_test.go
@@ -11,8 +11,8 @@
 	decide "dunlinsail/internal/decide/takeover"
 )
 
-// The golden files were written by the build of commit 870f4ac. They are never changed: both processes of a hot restart
-// may be of different builds.
+// The golden files were written by the build of commit 870f4ac. They are never changed: both processes of a hot
+// restart may be of different builds.
 
 // TestStateOfEarlierBuild reads a snapshot in which every field is set, and encodes it to the same bytes.
 func TestStateOfEarlierBuild(t *testing.T) {
@@ -78,7 +78,7 @@
 			if got := readPacket(t, receiver); !bytes.Equal(got, packet) {
 				t.Errorf("written as %x, want %x", got, packet)
 			}
-			if _, err := sender.socket.Write(packet); err != nil {
+			if _, err := sender.unixConn.Write(packet); err != nil {
 				t.Fatal(err)
 			}
 			want := m
@@ -93,7 +93,8 @@
 				t.Fatal(err)
 			}
 			if got.Kind != want.Kind || !bytes.Equal(got.Payload, want.Payload) || len(got.Files) != 0 {
-				t.Errorf("read %v %q with %d files, want %v %q", byte(got.Kind), got.Payload, len(got.Files), byte(want.Kind), want.Payload)
+				t.Errorf("read %d %q with %d files, want %d %q",
+					got.Kind, got.Payload, len(got.Files), want.Kind, want.Payload)
 			}
 		})
 	}
@@ -103,7 +104,7 @@
 func TestLongMessageOfEarlierBuild(t *testing.T) {
 	sender, receiver := pair(t)
 	text := bytes.Repeat([]byte("0123456789abcdef"), 4096+1)
-	if err := sender.Write(Message{Kind: decide.Offer, Payload: text, Sockets: []syscall.Conn{sender.socket}}); err != nil {
+	if err := sender.Write(Message{Kind: decide.Offer, Payload: text, Sockets: []syscall.Conn{sender.unixConn}}); err != nil {
 		t.Fatal(err)
 	}
 	for i, want := range []struct {
@@ -117,7 +118,7 @@
 	} {
 		buf := make([]byte, 1<<17)
 		oob := make([]byte, 1024)
-		n, oobn, _, _, err := receiver.socket.ReadMsgUnix(buf, oob)
+		n, oobn, _, _, err := receiver.unixConn.ReadMsgUnix(buf, oob)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,7 +151,7 @@
 func readPacket(t *testing.T, c *Conn) []byte {
 	t.Helper()
 	buf := make([]byte, 1<<17)
-	n, err := c.socket.Read(buf)
+	n, err := c.unixConn.Read(buf)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/takeover/loop.go
+++ b/internal/takeover/loop.go
@@ -10,24 +10,24 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Loop brings what happens in a takeover to the one goroutine that carries it out: messages, deadlines, and whatever else its
-// owner posts. Make one with NewLoop, and take its Events until End.
+// Loop brings the events of a hot restart to the one goroutine that carries them out: messages, deadlines, and
+// whatever else its owner posts. Make one with NewLoop, and receive from Events until Close.
 type Loop struct {
 	Events     chan func()
-	Goroutines sync.WaitGroup // what posts
+	Goroutines sync.WaitGroup // those that post
 
 	done  chan struct{} // closed once no event is taken any more
 	timer *time.Timer
 }
 
-// NewLoop returns a loop that posts woken whenever a deadline that was armed has come.
-func NewLoop(woken func()) *Loop {
+// NewLoop returns a loop that posts onDeadline whenever a deadline that was armed has come.
+func NewLoop(onDeadline func()) *Loop {
 	l := &Loop{Events: make(chan func()), done: make(chan struct{})}
-	l.timer = time.AfterFunc(time.Hour, func() { l.Post(woken) })
+	l.timer = time.AfterFunc(time.Hour, func() { l.Post(onDeadline) })
 	return l
 }
 
-// Post hands an event to whoever takes them, and says whether it has been taken: after the end there is nobody to tell.
+// Post hands an event to the receiver of Events, and reports whether it was received: after Close none is.
 func (l *Loop) Post(event func()) bool {
 	select {
 	case l.Events <- event:
@@ -37,16 +37,16 @@
 	}
 }
 
-// Over returns a channel that is closed once no event is taken any more.
+// Done returns a channel that is closed once no event is taken any more.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
-// End ends the loop: no event is taken any more. What is beside it may still be at work.
+// Close closes the loop: no event is received any more. Wait for Goroutines after it.
 func (l *Loop) Close() {
 	close(l.done)
 	l.timer.Stop()
 }
 
-// Arm has the loop woken at the next of some deadlines, of which 0 is none.
+// Arm sets the timer to the next of some deadlines, of which 0 is none.
 func (l *Loop) Arm(deadlines ...monotime.Micros) {
 	var next monotime.Micros
 	for _, d := range deadlines {
@@ -59,7 +59,7 @@
 	}
 }
 
-// After posts an event in a while.
+// After posts an event after a time.
 func (l *Loop) After(d time.Duration, event func()) {
 	l.Goroutines.Go(func() {
 		select {
@@ -70,15 +70,15 @@
 	})
 }
 
-// Read posts a connection's messages, and its end as one of kind Broken.
-func (l *Loop) Read(c *Conn, got func(c *Conn, m Message)) {
+// Read posts a connection's messages, and its end as one of kind ConnectionLost.
+func (l *Loop) Read(c *Conn, received func(c *Conn, m Message)) {
 	l.Goroutines.Go(func() {
 		for {
 			m, err := c.Read()
 			if err != nil {
 				m = Message{Kind: decide.ConnectionLost, Payload: []byte(err.Error())}
 			}
-			if !l.Post(func() { got(c, m) }) {
+			if !l.Post(func() { received(c, m) }) {
 				m.CloseFiles()
 			}
 			if err != nil {
@@ -88,19 +88,19 @@
 	})
 }
 
-// Broke posts that a connection is of no use, as its reader would.
-func (l *Loop) PostConnectionLost(c *Conn, why error, got func(c *Conn, m Message)) {
+// PostConnectionLost posts that a connection is of no use, as its reader would.
+func (l *Loop) PostConnectionLost(c *Conn, why error, received func(c *Conn, m Message)) {
 	l.Goroutines.Go(func() {
-		l.Post(func() { got(c, Message{Kind: decide.ConnectionLost, Payload: []byte(why.Error())}) })
+		l.Post(func() { received(c, Message{Kind: decide.ConnectionLost, Payload: []byte(why.Error())}) })
 	})
 }
 
-// Greeting is how a taker begins.
+// HelloMessage returns the first message of a successor.
 func HelloMessage() Message {
 	return Message{Kind: decide.Hello, Payload: fmt.Append(nil, decide.Version)}
 }
 
-// Unwelcome says why one that has begun so is to be turned away, "" for not at all.
+// HelloProblem returns why a process that has sent this first message is rejected, "" if it is not.
 func HelloProblem(m Message) string {
 	switch {
 	case m.Kind != decide.Hello:
@@ -111,8 +111,8 @@
 	return ""
 }
 
-// Refuse turns one away that has connected.
-func (c *Conn) Reject(why string) {
-	c.Write(Message{Kind: decide.Rejected, Payload: []byte(why)})
+// Reject rejects a process that has connected, and closes the connection.
+func (c *Conn) Reject(reason string) {
+	c.Write(Message{Kind: decide.Rejected, Payload: []byte(reason)})
 	c.Close()
 }
--- a/internal/takeover/monotonic.go
+++ b/internal/takeover/monotonic.go
@@ -10,7 +10,8 @@
 func Monotonic() int64 {
 	const clockMonotonic = 1 // clock_gettime(2)
 	var t syscall.Timespec
-	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockMonotonic, uintptr(unsafe.Pointer(&t)), 0); errno != 0 {
+	_, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockMonotonic, uintptr(unsafe.Pointer(&t)), 0)
+	if errno != 0 {
 		return 0 // an age then counts as none
 	}
 	return t.Nano() / 1000
--- a/internal/takeover/snapshot.go
+++ b/internal/takeover/snapshot.go
@@ -11,19 +11,19 @@
 	"dunlinsail/internal/engine"
 )
 
-// State is what one process tells another that takes its place.
+// State is the snapshot that a predecessor sends to its successor.
 type State struct {
 	TakenAt  int64            `json:"Taken"` // the host's monotonic clock, in microseconds: the same in all its processes
 	Snapshot *engine.Snapshot `json:"Core"`
 }
 
-// FormatVersion is that of a State's form. Another's is refused as a whole: the taker then starts with what
-// discovery tells it.
+// FormatVersion is that of a State's encoding. A state of another version is rejected: the successor then starts with
+// what discovery sends.
 const FormatVersion = 2
 
 var magic = [4]byte{'D', 'L', 'S', 'S'}
 
-// headSize is magic, version, length and checksum.
+// headerSize is magic, version, length and checksum.
 const headerSize = 4 + 4 + 8 + 4
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -31,7 +31,7 @@
 // ErrState is wrapped by the errors of DecodeState.
 var ErrState = errors.New("what the other process learned is refused")
 
-// Encode returns the state's form: magic, version, length and CRC-32C of the JSON that follows.
+// Encode encodes the state: magic, version, length and CRC-32C of the JSON that follows.
 func (s *State) Encode() ([]byte, error) {
 	text, err := json.Marshal(s)
 	if err != nil {
@@ -47,7 +47,7 @@
 	return b.Bytes(), nil
 }
 
-// DecodeState reads a state. Anything but a whole one of this version is an error that wraps ErrState.
+// DecodeState decodes a state. Anything but a complete one of this version is an error that wraps ErrState.
 func DecodeState(b []byte) (*State, error) {
 	refused := func(format string, args ...any) (*State, error) {
 		return nil, fmt.Errorf("%w: %s", ErrState, fmt.Sprintf(format, args...))
