--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -44,8 +44,8 @@
 	processes int // that were started
 }
 
-// programs are what the first, third, ... and the second, fourth, ... process of a host run: this build's program, unless
-// .ci/mixed-restart names that of another build.
+// programs are what the first, third, ... and the second, fourth, ... process of a host run: this build's
+// program, unless .ci/mixed-restart names that of another build.
 var programs = [2]string{
 	cmp.Or(os.Getenv("DUNLINSAIL_PREDECESSOR"), os.Args[0]),
 	cmp.Or(os.Getenv("DUNLINSAIL_SUCCESSOR"), os.Args[0]),
@@ -163,19 +163,22 @@
 	}
 }
 
-// restored checks, once a process has ended, that all its predecessor learned arrived: at its start, and again at the handover.
+// restored checks, once a process has ended, that all its predecessor learned arrived: at its start, and again
+// at the handover.
 func (p *process) restored() {
 	p.h.t.Helper()
 	all := regexp.MustCompile(restoredLine).FindAllStringSubmatch(p.log.String(), -1)
-	if len(all) != 2 || all[0][1] != "at the start" || all[1][1] != "at the handover" {
+	if len(all) != 2 || all[0][1]+all[0][2] != "at the start" || all[1][1]+all[1][2] != "at the handover" {
 		p.h.t.Errorf("what was learned arrived %q:\n%s", all, p.log.String())
 		return
 	}
 	p.h.t.Logf("%s: %s; %s", filepath.Base(p.cmd.Path), all[0][0], all[1][0])
 }
 
-// restoredLine matches the log line of a snapshot that was taken over whole.
-const restoredLine = `msg="what the other process learned is taken over" when="(at the [a-z]+)" "passed over"=\[\]`
+// restoredLine matches the log line of a snapshot that was restored completely; the second form is that of
+// builds before this message was renamed.
+const restoredLine = `msg="(?:snapshot restored" when="(at the [a-z]+)" skipped|` +
+	`what the other process learned is taken over" when="(at the [a-z]+)" "passed over")=\[\]`
 
 // ends waits for a process that has been told to end, or has handed over.
 func (p *process) ends() {
@@ -218,7 +221,8 @@
 	}
 }
 
-// open has a client whose request is open at an endpoint until h.hold lets it go, and returns where its answer's status comes.
+// open has a client whose request is open at an endpoint until h.hold lets it go, and returns where its
+// answer's status comes.
 func (h *host) open() <-chan int {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.addr)
@@ -282,8 +286,9 @@
 	}
 }
 
-// Three versions follow one another under load: nobody is turned away at the door, a request half sent and one whose answer is
-// waited for are answered, kept connections go on, and an endpoint that is out stays out until it is let in again.
+// Three versions follow one another under load: nobody is turned away at the door, a request half sent and one
+// whose answer is waited for are answered, kept connections go on, and an endpoint that is out stays out until
+// it is let in again.
 func TestUpgrades(t *testing.T) {
 	h := newHost(t)
 	hold := make(chan struct{})
@@ -354,7 +359,8 @@
 	t.Logf("%d requests, each answered once with 200", n)
 }
 
-// The old process stands still, or was killed and its socket is left: the new one serves in time, with what was said by hand.
+// The old process stands still, or was killed and its socket is left: the new one serves in time, with what was
+// said by hand.
 func TestOldOneIsLost(t *testing.T) {
 	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
 		t.Run(signal.String(), func(t *testing.T) {
@@ -384,7 +390,8 @@
 	}
 }
 
-// The new process is lost at each step: the old one goes on as if it had never been asked, and the next one takes over.
+// The new process is lost at each step: the old one goes on as if it had never been asked, and the next one
+// takes over.
 func TestNewOneIsLost(t *testing.T) {
 	for steps := range 4 {
 		t.Run(fmt.Sprint(steps), func(t *testing.T) {
@@ -404,7 +411,7 @@
 			old.cmd.Process.Signal(syscall.SIGTERM)
 			old.ends()
 			stop()
-			if !strings.Contains(old.log.String(), "configuration read again") {
+			if !regexp.MustCompile("configuration (reloaded|read again)").MatchString(old.log.String()) {
 				t.Error("a SIGHUP was not heard")
 			}
 		})
@@ -446,9 +453,10 @@
 	return c
 }
 
-// The old process is told to end at each step of a handover to one that falls silent there, or is lost as the order comes. What it
-// has taken is answered, and what its clients send whole later is by the time at which the platform kills it: 3 s, the longest that
-// counts, and 0.7 s. The endpoint that has the later one never answers.
+// The old process is told to end at each step of a handover to one that falls silent there, or is lost as the
+// order comes. What it has taken is answered, and what its clients send whole later is by the time at which the
+// platform kills it: 3 s, the longest that counts, and 0.7 s. The endpoint that has the later one never
+// answers.
 func TestToldToEndInAHandover(t *testing.T) {
 	for steps := range 4 {
 		for _, lost := range []bool{false, true} {
@@ -492,8 +500,9 @@
 	}
 }
 
-// A process that is to take over is told to end at each step before it serves, twice at once: it ends with 0 and has served nobody, and
-// the one that serves sees its end. Who serves is scripted, so that the order comes at that step each time.
+// A process that is to take over is told to end at each step before it serves, twice at once: it ends with 0
+// and has served nobody, and the one that serves sees its end. Who serves is scripted, so that the order comes
+// at that step each time.
 func TestTakerToldToEnd(t *testing.T) {
 	for steps, heard := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared} {
 		t.Run("after "+heard.String(), func(t *testing.T) {
@@ -540,8 +549,8 @@
 	}
 }
 
-// A process that has just taken over is told to end while the one before still has an open request: nobody is to go on, the request is
-// answered, and both end.
+// A process that has just taken over is told to end while the one before still has an open request: nobody is
+// to go on, the request is answered, and both end.
 func TestBothEnd(t *testing.T) {
 	h := newHost(t)
 	hold := make(chan struct{})
@@ -558,8 +567,8 @@
 	old.ends()
 }
 
-// What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step: the new process
-// serves in time and does not end for it.
+// What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step:
+// the new process serves in time and does not end for it.
 func TestOldOneGarbles(t *testing.T) {
 	for name, answers := range map[string][]takeover.Message{
 		"says nothing":       {},
--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -23,8 +23,8 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// programs are what the first and third, and what the second process of a hot restart run: this build's program, unless
-// .ci/mixed-restart names that of another build.
+// programs are what the first and third, and what the second process of a hot restart run: this build's
+// program, unless .ci/mixed-restart names that of another build.
 var programs = [2]string{os.Getenv("DUNLINSAILD_PREDECESSOR"), os.Getenv("DUNLINSAILD_SUCCESSOR")}
 
 // served is a daemon's process.
@@ -71,22 +71,25 @@
 	}
 }
 
-// restored checks, once a process has ended, that all its predecessor learned arrived: at its start, and again at the handover.
+// restored checks, once a process has ended, that all its predecessor learned arrived: at its start, and again
+// at the handover.
 func (p *served) restored(t *testing.T) {
 	t.Helper()
 	all := regexp.MustCompile(restoredLine).FindAllStringSubmatch(p.log.String(), -1)
-	if len(all) != 2 || all[0][1] != "at the start" || all[1][1] != "at the handover" {
+	if len(all) != 2 || all[0][1]+all[0][2] != "at the start" || all[1][1]+all[1][2] != "at the handover" {
 		t.Errorf("what was learned arrived %q:\n%s", all, p.log.String())
 		return
 	}
 	t.Logf("%s: %s; %s", filepath.Base(p.cmd.Path), all[0][0], all[1][0])
 }
 
-// restoredLine matches the log line of a snapshot of one pool that was taken over whole.
-const restoredLine = `msg="what the other process learned is taken over" when="(at the [a-z]+)" pools=1 "passed over"=\[\]`
+// restoredLine matches the log line of a snapshot of one pool that was restored completely; the second form is
+// that of builds before this message was renamed.
+const restoredLine = `msg="(?:snapshot restored" when="(at the [a-z]+)" pools=1 skipped|` +
+	`what the other process learned is taken over" when="(at the [a-z]+)" pools=1 "passed over")=\[\]`
 
-// TestHotRestartUnderLoad restarts a daemon twice under load: each request has exactly one final answer, nothing takes effect twice,
-// and what was learned arrives.
+// TestHotRestartUnderLoad restarts a daemon twice under load: each request has exactly one final answer,
+// nothing takes effect twice, and what was learned arrives.
 func TestHotRestartUnderLoad(t *testing.T) {
 	ledger := &endpoint.Ledger{}
 	var listed []discovery.Instance
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -121,7 +121,7 @@
 // connect starts as the successor of the process that serves, or alone.
 func (l *lifecycle) connect() error {
 	if l.inProcess {
-		l.log.Info("taking over in this process")
+		l.log.Info("hot restart started in this process")
 		l.Connect(l.PredecessorConn)
 		return nil
 	}
@@ -137,7 +137,7 @@
 	default:
 		return errorf("takeover: %s: %w", path, err)
 	}
-	l.log.Info("taking over", "socket", path)
+	l.log.Info("hot restart started", "socket", path)
 	l.Connect(conn)
 	return nil
 }
@@ -157,14 +157,14 @@
 // instance goes on by itself.
 func (l *lifecycle) joinFleet() {
 	if err := l.startConsensus(); err != nil {
-		l.log.Error("machines that go out for work are not known here", "error", err)
+		l.log.Error("consensus not started", "error", err)
 	}
 	if err := l.startGossip(); err != nil {
-		l.log.Error("this instance knows of no others, and goes on with its least", "error", err)
+		l.log.Error("gossip not started", "error", err)
 	}
 	l.core.StartCoordination()
 	if err := l.serveAdmin(); err != nil {
-		l.log.Error("operators' calls are not served", "error", err)
+		l.log.Error("admin server not started", "error", err)
 	}
 }
 
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -31,7 +31,7 @@
 	go func() {
 		defer close(ended)
 		if err := admin.Serve(ln, d.adminBackend()); err != nil {
-			d.log.Error("operators' calls are not served any more", "error", err)
+			d.log.Error("admin server failed", "error", err)
 		}
 	}()
 	d.stopAdmin = func() {
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -88,7 +88,7 @@
 // Drain ends what is open in order: clients that still connect are served for a moment, each answer closes its connection,
 // and endpoints that are warming up get nothing more.
 func (l *lifecycle) Drain() {
-	l.log.Info("stopping")
+	l.log.Info("draining")
 	l.front.Release(nil)
 	l.front.Quiesce()
 	l.core.SnapshotForHandover()
@@ -109,7 +109,7 @@
 
 // CloseRemaining closes what is still open at the end of takeover.drain_within.
 func (l *lifecycle) CloseRemaining() {
-	l.log.Warn("what is still open is ended: takeover.drain_within is over")
+	l.log.Warn("drain timeout, connections closed")
 	l.front.Cut()
 }
 
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -15,14 +15,14 @@
 // ReceiveOffer takes the listening sockets that are offered.
 func (l *lifecycle) ReceiveOffer(m takeover.Message) {
 	if err := json.Unmarshal(m.Payload, &l.received); err != nil {
-		l.log.Warn("what is offered makes no sense", "error", err)
+		l.log.Warn("offer rejected", "error", err)
 		l.received = offer{}
 	}
 	for i, file := range m.Files {
 		if l.received.Takeover && i == len(m.Files)-1 {
 			listener, err := takeover.FromFile(file)
 			if err != nil {
-				l.log.Warn("socket for takers not taken over", "error", err)
+				l.log.Warn("successor socket not adopted", "error", err)
 				continue
 			}
 			l.successorListener = listener
@@ -30,7 +30,7 @@
 		}
 		listener, err := net.FileListener(file)
 		if err != nil {
-			l.log.Warn("listening socket not taken over", "error", err)
+			l.log.Warn("listener not adopted", "error", err)
 		}
 		l.offeredListeners = append(l.offeredListeners, listener)
 	}
@@ -81,7 +81,7 @@
 func (l *lifecycle) decodeState(encoded []byte, when string) *takeover.State {
 	state, err := takeover.DecodeState(encoded)
 	if err != nil {
-		l.log.Warn("beginning with less", "when", when, "error", err)
+		l.log.Warn("snapshot rejected", "when", when, "error", err)
 		return nil
 	}
 	return state
@@ -104,8 +104,8 @@
 		}
 		l.core.ApplyMaintenancePlan(*l.inheritedPlan)
 	}
-	l.log.Info("what the other process learned is taken over", "when", when, "pools", len(state.Snapshot.Pools),
-		"passed over", skipped)
+	l.log.Info("snapshot restored", "when", when, "pools", len(state.Snapshot.Pools),
+		"skipped", skipped)
 }
 
 // StartAlone starts without a predecessor, unless that was to be one in this process.
@@ -167,7 +167,7 @@
 	if path != "" && l.successorListener == nil {
 		listener, err := takeover.Listen(path)
 		if err != nil {
-			l.log.Error("no process will be able to take over from this one", "socket", path, "error", err)
+			l.log.Error("hot restart socket not available", "socket", path, "error", err)
 		} else {
 			l.successorListener = listener
 		}
@@ -203,7 +203,7 @@
 			return
 		}
 	}
-	l.log.Warn("a connection of a listener that is not ours any more is closed", "listener", local.String())
+	l.log.Warn("connection of a removed listener closed", "listener", local.String())
 	conn.Close()
 }
 
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -148,7 +148,7 @@
 func (p *process) readFile() {
 	c, err := p.options.Read()
 	if err != nil {
-		p.log.Error("configuration not read again, the old one is kept", "error", err)
+		p.log.Error("configuration not reloaded", "error", err)
 		return
 	}
 	p.carryOut(p.machine.Offer(now(), p.fileVersion(c)))
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -36,7 +36,7 @@
 	go func() {
 		defer close(done)
 		if err := admin.Serve(listener, s.adminBackend()); err != nil {
-			s.log.Error("operators' calls are not served any more", "error", err)
+			s.log.Error("admin server failed", "error", err)
 		}
 	}()
 	return func() {
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -45,7 +45,7 @@
 	s.cordonsFileMu.Lock()
 	defer s.cordonsFileMu.Unlock()
 	if err := s.writeCordons(ctx); err != nil {
-		s.log.Warn("words by hand not written: only this process knows them", "error", err)
+		s.log.Warn("cordons not written", "error", err)
 	}
 }
 
@@ -82,7 +82,7 @@
 		err = json.NewDecoder(io.LimitReader(file, maxCordonsFile)).Decode(&cordons)
 	}
 	if err != nil {
-		s.log.Warn("words by hand not read: who was taken out is to be taken out again", "error", err)
+		s.log.Warn("cordons not read", "error", err)
 		return nil
 	}
 	return cordons
@@ -92,7 +92,7 @@
 func (l *lifecycle) ReceiveCordons(payload []byte) {
 	var cordons []cordon.Record
 	if err := json.Unmarshal(payload, &cordons); err != nil {
-		l.sidecar.log.Warn("words by hand from the other process make no sense", "error", err)
+		l.sidecar.log.Warn("cordons of the other process rejected", "error", err)
 		return
 	}
 	l.sidecar.core.ReceiveCordons(cordons...)
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -118,12 +118,12 @@
 	if path := l.socketPath(); path != "" {
 		conn, err := takeover.Dial(path)
 		if err == nil {
-			l.sidecar.log.Info("taking over")
+			l.sidecar.log.Info("hot restart started")
 			l.Connect(conn)
 			return
 		}
 		if !errors.Is(err, syscall.ENOENT) && !errors.Is(err, syscall.ECONNREFUSED) {
-			l.sidecar.log.Warn("nobody to take over from is to be reached", "error", err)
+			l.sidecar.log.Warn("predecessor not reachable", "error", err)
 		}
 	}
 	l.Successor.ServeAlone()
@@ -148,11 +148,11 @@
 func (l *lifecycle) answerInTime() {
 	log := l.sidecar.log
 	left := min(maxDeadline, longestDeadline(l.sidecar.config)) + deadlineMargin
-	log.Info("told to end", "while", l.Predecessor.String(), "all answered within", left)
+	log.Info("stop requested", "while", l.Predecessor.String(), "all answered within", left)
 	l.sidecar.front.EndBy(l.sidecar.clock.Now() + clock.Micros(left))
 	l.Loop.After(left, func() {
 		if n := l.sidecar.front.GiveUpHalves(); n > 0 {
-			log.Warn("requests that were never sent whole are given up", "connections", n)
+			log.Warn("incomplete requests closed", "connections", n)
 		}
 	})
 }
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -54,7 +54,7 @@
 // Drain ends what is open in order: clients still connect for a moment, and are served, with each answer closing its
 // connection. Rejecting those that come meanwhile would fail them for nothing.
 func (l *lifecycle) Drain() {
-	l.sidecar.log.Info("stopping")
+	l.sidecar.log.Info("draining")
 	l.sidecar.accepting.Store(false)
 	l.sidecar.front.Release(nil)
 	if !l.stopRequested { // it is the successor that was told to stop
@@ -82,7 +82,7 @@
 
 // CloseRemaining closes what is still open at the end of the drain time.
 func (l *lifecycle) CloseRemaining() {
-	l.sidecar.log.Warn("what is still open is ended", "after", drainTimeout)
+	l.sidecar.log.Warn("drain timeout, connections closed", "after", drainTimeout)
 	l.sidecar.front.Cut()
 }
 
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -21,12 +21,12 @@
 		}
 		next, err := read()
 		if err != nil {
-			s.log.Error("configuration not read again, the old one is kept", "error", err)
+			s.log.Error("configuration not reloaded", "error", err)
 			continue
 		}
 		moved := next.FileDiscovery != c.FileDiscovery && next.FileDiscovery != ""
 		c = next
-		s.log.Info("configuration read again", "moved", moved, "discovery", c.FileDiscovery)
+		s.log.Info("configuration reloaded", "moved", moved, "discovery", c.FileDiscovery)
 		if moved {
 			s.endpoints.SetSource(c.FileDiscovery)
 			s.source.SwitchTo(s.watchDiscovery(c.FileDiscovery, discovery.NoGeneration))
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -42,11 +42,11 @@
 	log := l.sidecar.log
 	state, err := takeover.DecodeState(snapshot)
 	if err != nil {
-		log.Warn("beginning with less", "when", when, "error", err)
+		log.Warn("snapshot rejected", "when", when, "error", err)
 		return
 	}
 	skipped := l.sidecar.core.Restore(state.Snapshot, max(0, takeover.Monotonic()-state.TakenAt))
-	log.Info("what the other process learned is taken over", "when", when, "passed over", skipped)
+	log.Info("snapshot restored", "when", when, "skipped", skipped)
 }
 
 // StartAlone starts with nothing but the cordons in the file, and serves.
@@ -72,7 +72,7 @@
 		listener, err := takeover.Replace(path)
 		l.successorListener = listener
 		if err != nil {
-			log.Error("no process will be able to take over from this one", "error", err)
+			log.Error("hot restart socket not available", "error", err)
 		} else {
 			l.Loop.Goroutines.Go(func() { l.AcceptSuccessors(context.Background(), listener, answerTimeout) })
 		}
@@ -92,7 +92,7 @@
 // PredecessorLeaving ends the exchange of cordons with the predecessor.
 func (l *lifecycle) PredecessorLeaving(conn *takeover.Conn) {
 	if !l.Successor.Serving() || l.Successor.ReceivesConnections() {
-		l.sidecar.log.Warn("the process before is not heard any more", "while", l.Successor.String())
+		l.sidecar.log.Warn("predecessor lost", "while", l.Successor.String())
 	}
 	l.cordonPeers.remove(conn)
 }
--- a/internal/takeover/lifecycle.go
+++ b/internal/takeover/lifecycle.go
@@ -117,7 +117,7 @@
 	state := State{TakenAt: now(), Snapshot: s}
 	encoded, err := state.Encode()
 	if err != nil {
-		l.log.Error("what was learned cannot be handed over", "error", err)
+		l.log.Error("snapshot not encoded", "error", err)
 		return nil
 	}
 	return encoded
@@ -129,7 +129,7 @@
 		conn, err := net.FileConn(file)
 		file.Close()
 		if err != nil {
-			l.log.Warn("connection not taken over", "error", err)
+			l.log.Warn("connection not adopted", "error", err)
 			continue
 		}
 		l.host.AdoptConnection(conn)
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -40,7 +40,7 @@
 		problem = "another takeover is under way"
 	}
 	if problem != "" {
-		l.log.Warn("a process that wants to take over is turned away", "reason", problem)
+		l.log.Warn("successor rejected", "reason", problem)
 		conn.Reject(problem)
 		return
 	}
@@ -59,7 +59,7 @@
 		l.host.ReceiveCordons(m.Payload)
 		return
 	case decide.Rejected, decide.ConnectionLost:
-		l.log.Warn("takeover ended by the other process", "while", l.Predecessor.String(), "reason", string(m.Payload))
+		l.log.Warn("hot restart ended by the other process", "while", l.Predecessor.String(), "reason", string(m.Payload))
 	}
 	l.StepPredecessor(m.Kind)
 }
@@ -85,7 +85,7 @@
 	case decide.StopAccepting:
 		l.snapshot = l.host.StopAccepting()
 	case decide.ResumeServing:
-		l.log.Info("serving on, as before")
+		l.log.Info("successor lost, serving again")
 		l.StepSuccessor(decide.Resumed, "")
 		l.drainedEarly = false
 		l.host.ResumeServing()
@@ -94,7 +94,7 @@
 	case decide.Drain:
 		l.host.Drain()
 	case decide.DrainForSuccessor:
-		l.log.Info("ending, another process serves")
+		l.log.Info("draining, another process serves")
 		l.frontend.Release(nil)
 		l.frontend.Quiesce()
 		l.WaitUntilDrained()
@@ -121,7 +121,7 @@
 	m := Message{Kind: step.Message, Payload: []byte(step.Reason)}
 	switch step.Message {
 	case decide.Offer:
-		l.log.Info("another wants to take over")
+		l.log.Info("successor connected")
 		m = l.host.Offer(l.SuccessorConn)
 	case decide.Handover:
 		m.Payload = l.snapshot
