Split the daemon's files by concern: rollout, canary, routes, gossip, spent log

Moves only: versions.go, pools.go and together.go are split, operate.go, work.go, record.go and tally.go have the names of what is in them.

--- a/internal/daemon/together.go
+++ b/internal/daemon/gossip.go
@@ -1,19 +1,13 @@
 package daemon
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"time"
 
-	"dunlinsail/internal/clock"
-	words "dunlinsail/internal/decide/coordination"
-	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/peers"
 )
 
@@ -26,7 +20,7 @@
 		return nil
 	}
 	t.NextIncarnation = rand.Uint64
-	t.Send = func(to string, w words.Message) {
+	t.Send = func(to string, w coordination.Message) {
 		if p := d.gossip.Load(); p != nil { // else it is one that has not begun, or has given its place away
 			p.Send(to, w)
 		}
@@ -77,7 +71,7 @@
 type View struct {
 	Name    string         `json:"Name"`
 	Members []peers.Member `json:"Members"`
-	Fleet   words.View     `json:"Fleet"`
+	Fleet   coordination.View     `json:"Fleet"`
 	Words   peers.Stats    `json:"Words"`
 }
 
@@ -93,60 +87,3 @@
 	}
 	return json.Marshal(View{d.config.Name, p.Members(), v, p.Stats()})
 }
-
-// spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in microseconds, which all its
-// processes read alike, and the budget.
-type spentLog struct {
-	lines   chan string
-	done    chan struct{}
-	dropped bool
-}
-
-// spentWaiting is how many lines wait for a disk that is slow; beyond that some are missing, and one line says so.
-const spentLogBuffer = 1 << 14
-
-func openSpentLog(path string, log *slog.Logger) (*spentLog, error) {
-	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	s := &spentLog{lines: make(chan string, spentLogBuffer), done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		defer f.Close()
-		w := bufio.NewWriter(f)
-		for line := range s.lines {
-			w.WriteString(line)
-			if len(s.lines) > 0 || w.Flush() == nil { // what a process that is killed has spent is to be known
-				continue
-			}
-			// The disk may be full: what is spent is bounded all the same. A writer that has failed writes nothing more.
-			log.Error("peers.spent is not kept any more", "file", path)
-			for range s.lines {
-			}
-			return
-		}
-		w.Flush()
-	}()
-	return s, nil
-}
-
-// note notes a unit. It never waits.
-func (s *spentLog) record(_ monotime.Micros, budget string) {
-	if s.dropped && len(s.lines) < spentLogBuffer/2 {
-		s.dropped = false
-		s.lines <- "# some are missing\n"
-	}
-	select {
-	case s.lines <- strconv.FormatInt(clock.BootTime(), 10) + " " + budget + "\n":
-	default:
-		s.dropped = true
-	}
-}
-
-func (s *spentLog) close() {
-	if s != nil {
-		close(s.lines)
-		<-s.done
-	}
-}
--- /dev/null
+++ b/internal/daemon/rollout_source.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"reflect"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/xdsclient"
+)
+
+// read reads the file again, and offers what is in it.
+func (p *process) readFile() {
+	c, err := p.options.Read()
+	if err != nil {
+		p.log.Error("configuration not reloaded", "error", err)
+		return
+	}
+	p.carryOut(p.machine.Offer(now(), p.fileVersion(c)))
+}
+
+// fileVersion notes a content of the file, and returns its version.
+func (p *process) fileVersion(c *config.Config) rollout.Version {
+	p.fileReads++
+	v := rollout.Version{ID: rollout.ID{Source: rollout.SourceFile, Number: p.fileReads}, Digest: digest(c.Text)}
+	p.files[v.Digest] = c
+	return v
+}
+
+// follow asks the control service that a configuration names, if it is another than before.
+func (p *process) followService(c *config.Config) {
+	if reflect.DeepEqual(p.control, c.Control) {
+		return
+	}
+	p.stopFollowing()
+	p.stopFollowing, p.client, p.control = func() {}, nil, c.Control
+	if c.Control.Address == "" {
+		return
+	}
+	var client *xdsclient.Client
+	client, err := xdsclient.New(xdsclient.Options{Settings: c.Control, InstanceName: c.Name, Zone: c.Fleet.Zone, Applied: p.runningServiceVersion(), Log: p.log,
+		OnUpdate: func(u xdsclient.Update) {
+			p.post(func() {
+				if p.client == client {
+					p.onUpdate(u)
+				}
+			})
+		}})
+	if err != nil {
+		p.log.Error("no versions of the configuration will come", "error", err)
+		return
+	}
+	var ctx context.Context
+	ctx, p.stopFollowing = context.WithCancel(context.Background())
+	p.client = client
+	p.following.Go(func() { client.Run(ctx) })
+	p.log.Info("versions of the configuration come from a control service", "service", c.Control.Address)
+}
+
+// service returns which of the service's versions runs, or will in a moment; nil for none.
+func (p *process) runningServiceVersion() *rollout.ID {
+	pair, _ := p.machine.Running()
+	if phase, _ := p.machine.Phase(); phase == rollout.PhaseRollingBack {
+		pair = *p.machine.PersistentState().LastKnownGood
+	}
+	if pair.ControlPlane == nil {
+		return nil
+	}
+	return &pair.ControlPlane.ID
+}
+
+// offered takes a version in that the service sent.
+func (p *process) onUpdate(u xdsclient.Update) {
+	if u.DecodeError != "" {
+		p.carryOut(p.machine.RejectUnreadable(u.Version, u.DecodeError))
+		return
+	}
+	if p.resources[u.Version.Digest] == nil {
+		p.resources[u.Version.Digest] = u.Resources
+	}
+	p.carryOut(p.machine.Offer(now(), u.Version))
+	p.dropUnused()
+}
--- /dev/null
+++ b/internal/daemon/rollout_state.go
@@ -0,0 +1,186 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/configcache"
+	"dunlinsail/internal/decide/rollout"
+)
+
+// recall finds what to begin with: the file, and over it the last good version of the service's. Without a sound one it is
+// the file alone, which is sound by itself.
+func (p *process) restoreVersions() {
+	p.files, p.resources, p.stopFollowing = map[string]*config.Config{}, map[string][]config.Resource{}, func() {}
+	file := p.options.Config
+	p.first = file
+	running := rollout.LayeredVersion{File: p.fileVersion(file)}
+	var known rollout.PersistentState
+	if c := &file.Control; c.State != "" {
+		var err error
+		if p.cache, err = configcache.Open(c.State); err != nil {
+			p.log.Error("no version of the configuration will be kept", "folder", c.State, "error", err)
+		} else if k := p.loadState(); k != nil {
+			known = *k
+		}
+	}
+	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.Control.Address != "" {
+		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
+			p.log.Error("the last good version cannot be begun with, the file alone is", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
+		} else {
+			p.first, running.ControlPlane = c, known.LastKnownGood.ControlPlane
+			p.log.Info("beginning with the last good version", "version", running.String())
+		}
+	}
+	if known.LastKnownGood != nil && !sameContents(known.LastKnownGood, &running) {
+		// Whoever starts the process with another file means it.
+		known.PreviousGood, known.LastKnownGood = known.LastKnownGood, &running
+	}
+	p.machine = rollout.New(machineSettings(&file.Control, p.options.Seed), running, known)
+}
+
+// same says whether two pairs have the same contents.
+func sameContents(a, b *rollout.LayeredVersion) bool {
+	return a.File.Digest == b.File.Digest && (a.ControlPlane == nil) == (b.ControlPlane == nil) && (a.ControlPlane == nil || *a.ControlPlane == *b.ControlPlane)
+}
+
+// load returns what was known when the process before this one ended, nil if nothing is kept.
+func (p *process) loadState() *rollout.PersistentState {
+	k, from, err := p.cache.Load()
+	if err != nil {
+		p.log.Error("what was kept of versions is not all sound", "from", from, "error", err)
+	}
+	if k == nil {
+		return nil
+	}
+	for _, pair := range []*rollout.LayeredVersion{k.LastKnownGood, k.PreviousGood} {
+		if pair == nil {
+			continue
+		}
+		if text, err := p.cache.Content(pair.File.Digest); err == nil && digest(text) == pair.File.Digest {
+			if c, err := config.Parse(text); err == nil {
+				p.files[pair.File.Digest] = c
+			}
+		}
+	}
+	return k
+}
+
+// recalled returns the configuration that a version comes to over a file, from what is kept.
+func (p *process) cachedConfig(v *rollout.Version, file *config.Config) (*config.Config, error) {
+	text, err := p.cache.Content(v.Digest)
+	if err != nil {
+		return nil, err
+	}
+	var all []config.Resource
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, err
+	}
+	if config.Digest(all) != v.Digest {
+		return nil, configcache.ErrCorrupt
+	}
+	p.resources[v.Digest] = all
+	return config.Combine(file, all)
+}
+
+func digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// save writes down what is known.
+func (p *process) saveState() {
+	if p.cache == nil {
+		p.carryOut(p.machine.HandlePersisted(now(), ""))
+		return
+	}
+	k, contents, err := p.stateToSave()
+	if err != nil {
+		p.carryOut(p.machine.HandlePersisted(now(), err.Error()))
+		return
+	}
+	p.saving.Go(func() {
+		reason := ""
+		if err := p.cache.Save(k, contents); err != nil {
+			reason = err.Error()
+		}
+		p.post(func() {
+			if reason != "" && p.machine.PersistError() == "" {
+				p.log.Error("what is known of versions cannot be written down; it is tried again", "error", reason)
+			}
+			p.carryOut(p.machine.HandlePersisted(now(), reason))
+		})
+	})
+}
+
+// toKeep returns a copy of what is known, and the contents that it names.
+func (p *process) stateToSave() (*rollout.PersistentState, map[string][]byte, error) {
+	text, err := json.Marshal(p.machine.PersistentState())
+	if err != nil {
+		return nil, nil, err
+	}
+	k := &rollout.PersistentState{}
+	if err := json.Unmarshal(text, k); err != nil {
+		return nil, nil, err
+	}
+	contents := map[string][]byte{}
+	for d, c := range p.files {
+		contents[d] = c.Text
+	}
+	for d, all := range p.resources {
+		if contents[d], err = json.Marshal(all); err != nil {
+			return nil, nil, err
+		}
+	}
+	return k, contents, nil
+}
+
+// forget lets contents go that nothing names any more.
+func (p *process) dropUnused() {
+	keep := map[string]bool{}
+	note := func(v *rollout.Version) {
+		if v != nil {
+			keep[v.Digest] = true
+		}
+	}
+	running, _ := p.machine.Running()
+	for _, pair := range []*rollout.LayeredVersion{&running, p.machine.PersistentState().LastKnownGood, p.machine.PersistentState().PreviousGood} {
+		if pair != nil {
+			note(&pair.File)
+			note(pair.ControlPlane)
+		}
+	}
+	note(p.machine.Pending(rollout.SourceFile))
+	note(p.machine.Pending(rollout.SourceControlPlane))
+	_, work := p.machine.Phase()
+	note(work)
+	for d := range p.files {
+		if !keep[d] {
+			delete(p.files, d)
+		}
+	}
+	for d := range p.resources {
+		if !keep[d] {
+			delete(p.resources, d)
+		}
+	}
+}
+
+// leave is the end of the process. One that was told to end did not end by what it tried.
+func (p *process) stopVersioning() {
+	p.stopFollowing()
+	p.saving.Wait()
+	if p.cache == nil || p.stop.Err() == nil || p.machine.PersistentState().Unconfirmed == nil {
+		return
+	}
+	p.machine.ForgiveLastAttempt()
+	k, contents, err := p.stateToSave()
+	if err == nil {
+		err = p.cache.Save(k, contents)
+	}
+	if err != nil {
+		p.log.Warn("what is known of versions cannot be written down", "error", err)
+	}
+}
