--- a/internal/consensus/boltstore_test.go
+++ b/internal/consensus/boltstore_test.go
@@ -14,6 +14,13 @@
 	return &raftpb.Entry{Index: proto.Uint64(index), Term: proto.Uint64(term), Data: []byte("x")}
 }
 
+func closeStore(t testing.TB, store *BoltStore) {
+	t.Helper()
+	if err := store.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // What was saved is loaded, with what another leader put in its place; a gap and a file of another kind are errors.
 func TestBoltStoreLoadsWhatWasSaved(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log")
@@ -45,7 +52,7 @@
 			t.Fatal(err)
 		}
 	}
-	store.Close()
+	closeStore(t, store)
 	if store, err = OpenBoltStore(path); err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +69,7 @@
 	if _, _, err := store.Load(); !errors.Is(err, ErrCorrupt) {
 		t.Errorf("a gap: %v", err)
 	}
-	store.Close()
+	closeStore(t, store)
 	if err := os.WriteFile(path, []byte("not a file of that kind"), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -113,7 +113,9 @@
 	violation    string // the first that check has found
 }
 
-func newCluster(t testing.TB, voters, others int, seed uint64) *cluster {
+// newCluster starts a cluster of three voters, i0 to i2, and of so many other instances.
+func newCluster(t testing.TB, others int, seed uint64) *cluster {
+	const voters = 3
 	c := &cluster{
 		t:            t,
 		rng:          rand.New(rand.NewPCG(seed, 5)),
--- a/internal/consensus/encoding_test.go
+++ b/internal/consensus/encoding_test.go
@@ -195,7 +195,7 @@
 
 // Three voters on files of the build before elect a leader and finish the work that was asked for at that build.
 func TestFleetGoesOnFromFilesOfTheBuildBefore(t *testing.T) {
-	c := newCluster(t, 3, 1, 4)
+	c := newCluster(t, 1, 4)
 	for _, p := range c.instances[:3] {
 		c.incarnations++
 		node, err := New(p.clock(c.now), c.settingsOf(p), c.incarnations, openStored(t, p.name))
@@ -236,7 +236,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { store.Close() })
+	t.Cleanup(func() { closeStore(t, store) })
 	return store
 }
 
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -7,7 +7,7 @@
 
 // All machines are taken out and come back, some at a time, within the bounds.
 func TestAllMachinesAreTakenOutAndReturn(t *testing.T) {
-	c := newCluster(t, 3, 3, 1)
+	c := newCluster(t, 3, 1)
 	if reply := c.request("night", c.machineNames()...); reply.Error != "" {
 		t.Fatal(reply.Error)
 	}
@@ -27,7 +27,7 @@
 // once faults stop the plan finishes.
 func TestSafetyHoldsUnderFaults(t *testing.T) {
 	for seed := range uint64(12) {
-		c := newCluster(t, 3, 3, seed)
+		c := newCluster(t, 3, seed)
 		c.request("night", c.machineNames()...)
 		c.injectFaults(12)
 		c.heal()
@@ -42,7 +42,7 @@
 // A voter that has lost its log, or cannot read it, has no vote, and applies and reports on; what was committed is
 // there, and goes on while a majority has it. All killed with their logs go on.
 func TestVotersWithoutTheirLogs(t *testing.T) {
-	c := newCluster(t, 3, 1, 3)
+	c := newCluster(t, 1, 3)
 	c.request("night", "m0")
 	lost := c.instances[0]
 	c.kill(lost)
@@ -95,7 +95,7 @@
 	for _, planted := range faults {
 		found := ""
 		for seed := uint64(0); seed < 40 && found == ""; seed++ {
-			c := newCluster(t, 3, 3, seed)
+			c := newCluster(t, 3, seed)
 			c.fault = planted
 			c.request("night", c.machineNames()...)
 			c.injectFaults(10)
--- a/internal/consensus/raftlog.go
+++ b/internal/consensus/raftlog.go
@@ -28,15 +28,18 @@
 	retainedEntries = snapshotInterval / 2
 )
 
-// startRaft starts raft from a stored log.
+// startRaft starts raft from a stored log. With an error this instance stops voting.
 func (n *Node) startRaft(stored StoredLog) (err error) {
 	defer func() {
 		if p := recover(); p != nil { // see recoverRaftPanic
-			err = n.stopVoting(fmt.Errorf("%w: %v", ErrLogInconsistent, p))
+			err = fmt.Errorf("%w: %v", ErrLogInconsistent, p)
+		}
+		if err != nil {
+			n.stopVoting(err)
 		}
 	}()
 	if err := n.loadRaftStorage(stored); err != nil {
-		return n.stopVoting(err)
+		return err
 	}
 	rawNode, err := raft.NewRawNode(&raft.Config{
 		ID:              n.raftID,
@@ -51,7 +54,7 @@
 		Logger:          &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
 	})
 	if err != nil {
-		return n.stopVoting(fmt.Errorf("consensus: start raft: %w", err))
+		return fmt.Errorf("consensus: start raft: %w", err)
 	}
 	n.rawNode = rawNode
 	return nil
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -52,11 +52,10 @@
 }
 
 // stopVoting ends this instance's part as a voter. It goes on as any other instance.
-func (n *Node) stopVoting(err error) error {
+func (n *Node) stopVoting(err error) {
 	n.voterErr = err
 	n.rawNode = nil
 	n.term = nil
-	return err
 }
 
 // VoterError returns why this voter has stopped voting; nil if it has not, or is no voter.
--- a/internal/decide/maintenance/encoding_test.go
+++ b/internal/decide/maintenance/encoding_test.go
@@ -126,8 +126,12 @@
 		if !bytes.Equal(again, lines.Bytes()) {
 			t.Errorf("entry %d is encoded as\n%s\nit was\n%s", entries, again, lines.Bytes())
 		}
-		direct.Apply(c)
-		restored.Apply(c)
+		answer, err := direct.Apply(c)
+		answerRestored, errRestored := restored.Apply(c)
+		if answer != answerRestored || fmt.Sprint(err) != fmt.Sprint(errRestored) {
+			t.Errorf("entry %d: %q, %v; stored and restored %q, %v",
+				entries, answer, err, answerRestored, errRestored)
+		}
 		stored, err := json.Marshal(restored)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/decide/maintenance/settings.go
+++ b/internal/decide/maintenance/settings.go
@@ -9,8 +9,8 @@
 
 // The bounds that Settings.Validate sets.
 const (
-	minLeaseDuration monotime.Micros = 10_000
-	largestDrift                     = 0.1
+	minLeaseDuration = 10 * monotime.Millisecond
+	largestDrift     = 0.1
 )
 
 // Settings bound what may be out of service. All instances of a fleet have the same.
--- a/internal/decide/maintenance/state_test.go
+++ b/internal/decide/maintenance/state_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x.Apply(Command{FleetStatus: status})
+	apply(t, x, Command{FleetStatus: status})
 	for i := range requests {
 		if requests[i].Duration == 0 {
 			requests[i].Duration = 60 * monotime.Second
@@ -48,11 +48,20 @@
 	return x
 }
 
+// apply applies a command that must not be an error.
+func apply(t testing.TB, x *State, c Command) {
+	t.Helper()
+	if _, err := x.Apply(c); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // acknowledge has all that is announced be acknowledged, again and again, as long as something comes of it.
-func acknowledge(x *State) {
+func acknowledge(t testing.TB, x *State) {
+	t.Helper()
 	for version := ^uint64(0); version != x.PlanVersion; {
 		version = x.PlanVersion
-		x.Apply(Command{Acknowledged: x.Plan().Announced})
+		apply(t, x, Command{Acknowledged: x.Plan().Announced})
 	}
 }
 
@@ -110,7 +119,7 @@
 		c.change(status)
 		x := stateWith(t, status, Request{ID: "a", Machines: all, Requester: "ana"})
 		for range 3 {
-			acknowledge(x)
+			acknowledge(t, x)
 		}
 		if got := machinesIn(x, Draining); got != c.drained {
 			t.Errorf("%s: %q are drained, not %q", c.name, got, c.drained)
@@ -135,12 +144,12 @@
 	x.settings.MaxOut = 1
 	var drained []string
 	for len(x.Machines) > 0 {
-		acknowledge(x)
+		acknowledge(t, x)
 		name := machinesIn(x, Draining)
 		drained = append(drained, name)
-		x.Apply(Command{Drained: []string{name}})
-		x.Apply(Command{Complete: &Completion{Request: x.Machines[name].Requests[0], Machine: name}})
-		x.Apply(Command{Time: x.Now + 3*monotime.Second})
+		apply(t, x, Command{Drained: []string{name}})
+		apply(t, x, Command{Complete: &Completion{Request: x.Machines[name].Requests[0], Machine: name}})
+		apply(t, x, Command{Time: x.Now + 3*monotime.Second})
 	}
 	if fmt.Sprint(drained) != "[m5 m6 m0 m2 m4]" {
 		t.Errorf("%v", drained)
@@ -156,16 +165,16 @@
 	if len(x.Requests) != 2 || len(x.Machines) != 1 {
 		t.Fatalf("%d requests, %d machines", len(x.Requests), len(x.Machines))
 	}
-	acknowledge(x)
-	x.Apply(Command{Drained: []string{"m0"}})
+	acknowledge(t, x)
+	apply(t, x, Command{Drained: []string{"m0"}})
 	if m := x.Machines["m0"]; m.Phase != UnderMaintenance || m.DueAt != x.Now+90*monotime.Second {
 		t.Fatalf("%+v", m)
 	}
-	x.Apply(Command{Complete: &Completion{Request: "a"}})
+	apply(t, x, Command{Complete: &Completion{Request: "a"}})
 	if x.Machines["m0"].Phase != UnderMaintenance || x.Requests["a"] != nil {
 		t.Error("one of two requests is complete, and the machine returns")
 	}
-	x.Apply(Command{Complete: &Completion{Request: "b"}})
+	apply(t, x, Command{Complete: &Completion{Request: "b"}})
 	if x.Machines["m0"].Phase != Returning {
 		t.Error("both requests are complete, and the machine does not return")
 	}
@@ -177,32 +186,32 @@
 	for step := range 5 {
 		x := stateWith(t, eightMachines(1), Request{ID: "a", Machines: []string{"m0"}, Requester: "ana"})
 		if step > 0 {
-			acknowledge(x)
+			acknowledge(t, x)
 		}
 		if step > 1 {
-			x.Apply(Command{Drained: []string{"m0"}})
+			apply(t, x, Command{Drained: []string{"m0"}})
 		}
 		if step > 2 {
-			x.Apply(Command{Time: x.Now + 2*60*monotime.Second})
+			apply(t, x, Command{Time: x.Now + 2*60*monotime.Second})
 			if !x.Machines["m0"].Overdue {
 				t.Error("its time is over, and it is not overdue")
 			}
 		}
-		x.Apply(Command{CancelRequest: "a"})
+		apply(t, x, Command{CancelRequest: "a"})
 		if m := x.Machines["m0"]; (m != nil) != (step > 1) || m != nil && m.Phase != Returning {
 			t.Errorf("step %d: %+v", step, m)
 		}
 		if step > 3 { // it returns, and is not healthy for a while
 			status := eightMachines(1)
 			status.Machines[0].Healthy = false
-			x.Apply(Command{FleetStatus: status})
-			x.Apply(Command{Time: x.Now + 10*monotime.Second})
+			apply(t, x, Command{FleetStatus: status})
+			apply(t, x, Command{Time: x.Now + 10*monotime.Second})
 			if m := x.Machines["m0"]; m == nil || !strings.Contains(m.WaitReason, "not well") {
 				t.Errorf("%+v", m)
 			}
-			x.Apply(Command{FleetStatus: eightMachines(1)})
+			apply(t, x, Command{FleetStatus: eightMachines(1)})
 		}
-		x.Apply(Command{Time: x.Now + 3*monotime.Second})
+		apply(t, x, Command{Time: x.Now + 3*monotime.Second})
 		plan := x.Plan()
 		if len(x.Machines) != 0 || len(x.Requests) != 0 || len(plan.Excluded)+len(plan.Announced) != 0 {
 			t.Errorf("step %d: %d machines and %d requests are left", step, len(x.Machines), len(x.Requests))
@@ -213,22 +222,23 @@
 // Capacity that is needed back stays in service if it only drains, and is recalled if it is under maintenance.
 func TestCapacityThatIsNeededBackIsRecalled(t *testing.T) {
 	x := stateWith(t, eightMachines(1), Request{ID: "a", Machines: []string{"m0", "m2"}, Requester: "ana"})
-	acknowledge(x)
-	x.Apply(Command{Drained: []string{"m0"}})
-	x.Apply(Command{FleetStatus: eightMachines(7)})
+	acknowledge(t, x)
+	apply(t, x, Command{Drained: []string{"m0"}})
+	apply(t, x, Command{FleetStatus: eightMachines(7)})
 	if machinesIn(x, Draining) != "" || x.Machines["m2"].Phase != Acknowledged || x.Machines["m0"].RecallReason == "" {
 		t.Errorf("%+v %+v", x.Machines["m0"], x.Machines["m2"])
 	}
-	x.Apply(Command{FleetStatus: eightMachines(1)})
+	apply(t, x, Command{FleetStatus: eightMachines(1)})
 	if x.Machines["m0"].RecallReason != "" || x.Machines["m2"].Phase != Draining {
 		t.Errorf("%+v %+v", x.Machines["m0"], x.Machines["m2"])
 	}
-	x.Apply(Command{Hold: &Hold{On: true}})
-	x.Apply(Command{Drained: []string{"m2"}})
-	x.Apply(Command{Request: &Request{ID: "b", Machines: []string{"m4"}, Duration: monotime.Second, Requester: "ben"}})
-	x.Apply(Command{Complete: &Completion{Request: "a"}})
-	x.Apply(Command{Time: x.Now + 10*monotime.Second})
-	acknowledge(x)
+	apply(t, x, Command{Hold: &Hold{On: true}})
+	apply(t, x, Command{Drained: []string{"m2"}})
+	later := Request{ID: "b", Machines: []string{"m4"}, Duration: monotime.Second, Requester: "ben"}
+	apply(t, x, Command{Request: &later})
+	apply(t, x, Command{Complete: &Completion{Request: "a"}})
+	apply(t, x, Command{Time: x.Now + 10*monotime.Second})
+	acknowledge(t, x)
 	if x.Machines["m4"].Phase != Acknowledged || x.Machines["m4"].WaitReason != "all is held" {
 		t.Errorf("%+v", x.Machines["m4"])
 	}
@@ -246,8 +256,11 @@
 			now += rapid.Int64Range(0, 5*monotime.Second).Draw(r, "later")
 			c := anyCommand(r)
 			c.Time = now
-			direct.Apply(c)
-			restored.Apply(c)
+			answer, err := direct.Apply(c)
+			answerRestored, errRestored := restored.Apply(c)
+			if answer != answerRestored || fmt.Sprint(err) != fmt.Sprint(errRestored) {
+				r.Fatalf("%q, %v and stored and restored %q, %v", answer, err, answerRestored, errRestored)
+			}
 			restored = storeAndRestore(r, restored)
 			want := fmt.Sprint(direct.Plan(), direct.Events)
 			if got := fmt.Sprint(restored.Plan(), restored.Events); got != want {
