--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -69,10 +69,10 @@
 
 // View is what an instance tells of its fleet.
 type View struct {
-	Name    string         `json:"Name"`
-	Members []peers.Member `json:"Members"`
-	Fleet   coordination.View     `json:"Fleet"`
-	Words   peers.Stats    `json:"Words"`
+	Name    string            `json:"Name"`
+	Members []peers.Member    `json:"Members"`
+	Fleet   coordination.View `json:"Fleet"`
+	Words   peers.Stats       `json:"Words"`
 }
 
 // view returns it, as JSON.
