--- a/.ci/simwire/main.go
+++ b/.ci/simwire/main.go
@@ -81,16 +81,14 @@
 		}
 		return record(args[1], seed, os.Stdout)
 	case len(args) >= 1 && len(args) <= 2 && args[0] == "digest":
-		text := io.Discard
-		if len(args) == 2 {
-			file, err := os.Create(args[1])
-			if err != nil {
-				return err
-			}
-			defer file.Close()
-			text = file
+		if len(args) == 1 {
+			return digest(os.Stdin, io.Discard, os.Stdout)
+		}
+		file, err := os.Create(args[1])
+		if err != nil {
+			return err
 		}
-		return digest(os.Stdin, text, os.Stdout)
+		return errors.Join(digest(os.Stdin, file, os.Stdout), file.Close())
 	}
 	return errors.New("usage: simwire record PROGRAM SEED | simwire digest [TEXT]")
 }
