Rename what a first reader of engine's exported items would guess wrong

AttemptResult.At says at what: ObservedAt. Coordination.Fleet are the settings of the coordination: Settings. PoolConfig.Watch is a function that switches a watch: SetWatch. MaintenanceFacts returns a maintenance.FleetStatus, as core's MaintenanceStatus does. The endpoints that a maintenance plan stops are Excluded, as in package maintenance. Type-aware renames over all callers, no statement changes.

--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -79,7 +79,7 @@
 	for i := range fleet {
 		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.LoadReportFields, DialTimeout: giveUp / 2})}
 		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
-		c := engine.PoolConfig{InitialEndpoints: endpointsource.StaticList(o.Nodes, "a", 0), StaticList: true, Watch: func(bool) {}}
+		c := engine.PoolConfig{InitialEndpoints: endpointsource.StaticList(o.Nodes, "a", 0), StaticList: true, SetWatch: func(bool) {}}
 		if o.Subset > 0 {
 			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, MinMembers: o.Subset, EndpointProbes: o.NodeProbes, EndpointIdleConnections: o.NodeIdle}
 			c.OnIdleConnections = func(n float64) { in.up.Rest("", n) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -345,7 +345,7 @@
 	if !p.On {
 		return nil
 	}
-	t := &engine.Coordination{Fleet: coordination.Settings{Self: c.Name, Candidates: p.Lenders, LeaseDuration: p.Lease.Micros(), Seed: seed, Quota: quota.Settings{
+	t := &engine.Coordination{Settings: coordination.Settings{Self: c.Name, Candidates: p.Lenders, LeaseDuration: p.Lease.Micros(), Seed: seed, Quota: quota.Settings{
 		MaxInstances: c.Fleet.Instances, Reserve: p.Ready, LeaseDuration: p.Loan.Micros(), RequestInterval: p.Every.Micros(), MaxClockDrift: p.Drift}}}
 	for _, name := range p.Lends {
 		uses[name](&t.Scope)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -55,7 +55,7 @@
 	p, err := x.NewPool(engine.PoolConfig{
 		Name:             name,
 		InitialEndpoints: engine.EndpointUpdate{Generation: 7, Endpoints: known},
-		Watch:            func(bool) {},
+		SetWatch:         func(bool) {},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -143,7 +143,7 @@
 				return engine.AttemptResult{Status: balancer.NotSent}
 			}
 			<-release
-			return engine.AttemptResult{Status: balancer.OK, At: x.config.Clock.Now(), Response: "yes"}
+			return engine.AttemptResult{Status: balancer.OK, ObservedAt: x.config.Clock.Now(), Response: "yes"}
 		}}
 	x.Submit(c)
 	again := &Call{Client: client, Pool: p, ID: "1", Response: make(chan engine.Response, 1), Request: in}
@@ -178,7 +178,7 @@
 				return engine.AttemptResult{Status: balancer.NotSent}
 			}
 			<-release
-			return engine.AttemptResult{Status: balancer.OK, At: p.core.config.Clock.Now(), Response: p.pool.Name()}
+			return engine.AttemptResult{Status: balancer.OK, ObservedAt: p.core.config.Clock.Now(), Response: p.pool.Name()}
 		}}
 }
 
@@ -246,13 +246,13 @@
 	c.Request.Deadline = c.ArrivedAt + 50_000
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		started := engine.AttemptResult{Status: balancer.OK, At: now, Response: "started"}
+		started := engine.AttemptResult{Status: balancer.OK, ObservedAt: now, Response: "started"}
 		if !attempt.ClaimSend(now) || !attempt.ResponseStarted(started) {
 			return engine.AttemptResult{Status: balancer.NotSent}
 		}
 		<-release
 		ended <- ctx.Err() == nil
-		return engine.AttemptResult{Status: balancer.Reset, At: now}
+		return engine.AttemptResult{Status: balancer.Reset, ObservedAt: now}
 	}
 	x.Submit(c)
 	got := scriptedpeer.Within(t, c.Response, "answer")
@@ -292,11 +292,11 @@
 	c := p.call(t, client, "1", nil)
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if attempt.ClaimSend(now) && attempt.ResponseStarted(engine.AttemptResult{Status: balancer.OK, At: now}) {
+		if attempt.ClaimSend(now) && attempt.ResponseStarted(engine.AttemptResult{Status: balancer.OK, ObservedAt: now}) {
 			<-ctx.Done()
 			close(ended)
 		}
-		return engine.AttemptResult{Status: balancer.Cancelled, At: now}
+		return engine.AttemptResult{Status: balancer.Cancelled, ObservedAt: now}
 	}
 	x.Submit(c)
 	scriptedpeer.Within(t, c.Response, "answer")
@@ -321,7 +321,7 @@
 		c.Attempt = func(_ context.Context, attempt *AttemptContext) engine.AttemptResult {
 			attempt.ClaimSend(x.config.Clock.Now())
 			attempts <- struct{}{}
-			return engine.AttemptResult{Status: balancer.Error, At: x.config.Clock.Now(), Response: "said"}
+			return engine.AttemptResult{Status: balancer.Error, ObservedAt: x.config.Clock.Now(), Response: "said"}
 		}
 		x.Submit(c)
 		got := scriptedpeer.Within(t, c.Response, "answer")
@@ -352,7 +352,7 @@
 			close(out)
 		}
 		<-over // it notices nothing
-		return engine.AttemptResult{Status: balancer.Reset, At: x.config.Clock.Now()}
+		return engine.AttemptResult{Status: balancer.Reset, ObservedAt: x.config.Clock.Now()}
 	}
 	x.Submit(c)
 	scriptedpeer.Within(t, out, "the attempt")
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -58,7 +58,7 @@
 	}
 	r := query(x, func(now monotime.Micros) (r result) {
 		r.open = x.engine.OpenAttempts(endpoints)
-		r.facts = x.engine.MaintenanceFacts(now)
+		r.facts = x.engine.MaintenanceStatus(now)
 		return r
 	})
 	return r.facts, r.open
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -70,7 +70,7 @@
 	x.applied = engine.MaintenancePlan{AwaitingPlan: true}
 	if o := d.inheritedPlan; o != nil { // the process whose place this one takes has heard one
 		x.applied = *o
-		node.PlanFollower().Inherit(maintenance.Plan{Excluded: o.Stopped, Announced: o.Announced}, o.LeaseEnd)
+		node.PlanFollower().Inherit(maintenance.Plan{Excluded: o.Excluded, Announced: o.Announced}, o.LeaseEnd)
 	}
 	d.core.ApplyMaintenancePlan(x.applied)
 	var ctx context.Context
@@ -153,10 +153,10 @@
 		}
 	}
 	order, until, end := x.node.PlanFollower().CurrentPlan()
-	o := engine.MaintenancePlan{AwaitingPlan: !x.node.PlanFollower().HasPlan(), Stopped: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
+	o := engine.MaintenancePlan{AwaitingPlan: !x.node.PlanFollower().HasPlan(), Excluded: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
 	if fmt.Sprint(o) != fmt.Sprint(x.applied) {
-		if fmt.Sprint(o.Stopped) != fmt.Sprint(x.applied.Stopped) {
-			x.generation.log.Info("machines out for work", "out", o.Stopped, "next in line", o.Announced)
+		if fmt.Sprint(o.Excluded) != fmt.Sprint(x.applied.Excluded) {
+			x.generation.log.Info("machines out for work", "out", o.Excluded, "next in line", o.Announced)
 		}
 		x.applied = o
 		x.generation.core.ApplyMaintenancePlan(o)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -34,7 +34,7 @@
 	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.NoGeneration},
 		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
 		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
-		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) }, Watch: func(bool) {}}
+		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) }, SetWatch: func(bool) {}}
 	switch {
 	case conf.Endpoints != nil:
 		c.StaticList = true
@@ -50,7 +50,7 @@
 		} else {
 			p.source = discovery.NewContinuousSource(p.firstWatcher)
 		}
-		c.Watch = p.source.SetWatching
+		c.SetWatch = p.source.SetWatching
 	}
 	var err error
 	p.endpoints, err = d.core.NewPool(c)
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -97,7 +97,7 @@
 	if plan := state.Snapshot.Maintenance; plan != nil {
 		from := l.clock.Now() - age
 		l.inheritedPlan = &engine.MaintenancePlan{
-			Stopped:       plan.Stopped,
+			Excluded:      plan.Excluded,
 			Announced:     plan.Announced,
 			LeaseEnd:      from + plan.LeaseEnd,
 			DrainDeadline: from + plan.DrainDeadline,
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -114,7 +114,7 @@
 }
 
 // Watch starts or stops the watch of the endpoint list.
-func (x actions) Watch(on bool) { x.pool.config.Watch(on) }
+func (x actions) Watch(on bool) { x.pool.config.SetWatch(on) }
 
 // Log records a line for on-call staff.
 func (x actions) Log(message string, args ...any) {
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -12,7 +12,7 @@
 
 // scheduleOutcome records an outcome as the next event of the present instant: not from within the balancer.
 func (x *Engine) scheduleOutcome(a *Attempt, status balancer.Status) {
-	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, At: now}) })
+	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now}) })
 }
 
 // recordOutcome passes the outcome of an attempt to all that learn from it, and to the balancer last. The first
@@ -64,7 +64,7 @@
 
 // attemptLatency is the time from when the request was sent to its result.
 func attemptLatency(a *Attempt, r *AttemptResult) monotime.Micros {
-	return max(0, r.At-max(a.StartedAt, r.SentAt))
+	return max(0, r.ObservedAt-max(a.StartedAt, r.SentAt))
 }
 
 // expireAttempt abandons an attempt at its deadline, whatever its connection does.
@@ -82,7 +82,7 @@
 	} else {
 		x.config.Host.AttemptTimedOut(a)
 	}
-	x.recordOutcome(now, a, AttemptResult{Status: status, At: now})
+	x.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now})
 }
 
 // startResponse gives a response that has started to the client, if the request has none yet.
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -7,10 +7,10 @@
 
 // AttemptResult is the outcome of an attempt or a probe.
 type AttemptResult struct {
-	Status balancer.Status
-	At     monotime.Micros // when it was known
-	SentAt monotime.Micros // when the last byte of the request was written; 0 is StartedAt. Latency counts from it
-	Load   []float32       // the endpoint's load report, in the order of the settings; nil is none
+	Status     balancer.Status
+	ObservedAt monotime.Micros // when it was known
+	SentAt     monotime.Micros // when the last byte of the request was written; 0 is StartedAt. Latency counts from it
+	Load       []float32       // the endpoint's load report, in the order of the settings; nil is none
 
 	// Response is the host's form of what the endpoint answered. It may be nil where Status is not OK.
 	Response any
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -12,8 +12,8 @@
 
 // Coordination is what an engine needs to decide together with the other instances of its fleet.
 type Coordination struct {
-	Fleet coordination.Settings
-	Scope CoordinationScope
+	Settings coordination.Settings
+	Scope    CoordinationScope
 
 	// Send sends a gossip message to an instance. It must not block, and must not call the engine.
 	Send func(to string, message coordination.Message)
@@ -59,7 +59,7 @@
 // JoinFleet has the engine decide together with its fleet once StartCoordination or a Restore has begun that. It
 // returns an error for invalid settings. It must be called before the first pool is made.
 func (x *Engine) JoinFleet(c Coordination) error {
-	member, err := coordination.New(c.Fleet)
+	member, err := coordination.New(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 	}
 	settings := &x.config.Site.Settings
 	err := x.JoinFleet(Coordination{
-		Fleet: coordination.Settings{Quota: quota.Settings{
+		Settings: coordination.Settings{Quota: quota.Settings{
 			MaxInstances:    max(1, settings.Balancers),
 			Position:        settings.Position,
 			Reserve:         1,
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -125,7 +125,7 @@
 			if now/20_000%10 == 0 && a.Number == 0 { // one in ten fails once
 				status = balancer.Error
 			}
-			x.AttemptEnded(now, a, AttemptResult{Status: status, At: now})
+			x.AttemptEnded(now, a, AttemptResult{Status: status, ObservedAt: now})
 		}
 	}
 	if retries < 80 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -129,10 +129,10 @@
 func (x *Engine) ProbeEnded(now monotime.Micros, p *Pool, e *Endpoint, sentAt monotime.Micros, r AttemptResult) {
 	x.now = now
 	if o := x.config.Observer; o != nil {
-		o.ProbeEnded(now, e.Name, r.Status, max(0, r.At-sentAt))
+		o.ProbeEnded(now, e.Name, r.Status, max(0, r.ObservedAt-sentAt))
 	}
 	p.observeUtilization(e, r.Load)
 	p.observeProbe(now, &r)
-	p.balancer.HandleProbe(now, e.Number, r.Status, max(0, r.At-sentAt), r.Load)
+	p.balancer.HandleProbe(now, e.Number, r.Status, max(0, r.ObservedAt-sentAt), r.Load)
 	x.dispatchQueued(now)
 }
--- a/internal/engine/fleetquota.go
+++ b/internal/engine/fleetquota.go
@@ -59,7 +59,7 @@
 	}
 	reserve := func(coordinated bool) float64 {
 		if coordinated {
-			return f.Fleet.Quota.Reserve
+			return f.Settings.Quota.Reserve
 		}
 		return 1
 	}
--- a/internal/engine/helpers_test.go
+++ b/internal/engine/helpers_test.go
@@ -34,7 +34,7 @@
 		status = balancer.Error
 	}
 	h.engine.schedule(a.StartedAt+20_000, func(now monotime.Micros) {
-		h.engine.recordOutcome(now, a, AttemptResult{Status: status, At: now})
+		h.engine.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now})
 	})
 }
 func (h *answeringHost) CancelUnsent(*Attempt) bool { return false }
@@ -78,7 +78,7 @@
 func (h *answeringHost) startPool(t testing.TB, c PoolConfig, list []EndpointInfo) {
 	t.Helper()
 	c.InitialEndpoints = EndpointUpdate{Generation: 1, Endpoints: list}
-	c.Watch = func(bool) {}
+	c.SetWatch = func(bool) {}
 	pool, err := h.engine.NewPool(c)
 	if err != nil {
 		t.Fatal(err)
@@ -144,7 +144,7 @@
 func (h *recordingHost) serveAll(x *Engine, now monotime.Micros) (all, atE1 int) {
 	for len(h.started) > 0 {
 		a := h.nextAttempt()
-		x.AttemptEnded(now, a, AttemptResult{Status: balancer.OK, At: now})
+		x.AttemptEnded(now, a, AttemptResult{Status: balancer.OK, ObservedAt: now})
 		all++
 		if a.Endpoint.Name == "e1" {
 			atE1++
@@ -186,7 +186,7 @@
 		Scope:           scope,
 		Send:            func(string, coordination.Message) {},
 		NextIncarnation: func() uint64 { return 7 },
-		Fleet: coordination.Settings{Self: "a", Candidates: []string{"a"}, LeaseDuration: monotime.Second,
+		Settings: coordination.Settings{Self: "a", Candidates: []string{"a"}, LeaseDuration: monotime.Second,
 			Quota: quota.Settings{MaxInstances: 1, Reserve: 0.1, LeaseDuration: 2 * monotime.Second,
 				RequestInterval: monotime.Second / 4, MaxClockDrift: 0.005}},
 	}
@@ -205,7 +205,7 @@
 	}
 	p, err := x.NewPool(PoolConfig{
 		InitialEndpoints: EndpointUpdate{Generation: -1},
-		Watch:            func(bool) {},
+		SetWatch:         func(bool) {},
 		Overload:         o,
 	})
 	if err != nil {
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -15,7 +15,7 @@
 	// AwaitingPlan says that no plan is known yet: nothing is sent to any endpoint.
 	AwaitingPlan bool `json:"Wait"`
 	// Stopped are endpoints that get nothing new. One that is let back in has restarted.
-	Stopped []string `json:"Stop"`
+	Excluded []string `json:"Stop"`
 	// Announced are endpoints that are next, and get nothing new once the lease has ended.
 	Announced []string        `json:"Ahead"`
 	LeaseEnd  monotime.Micros `json:"Until"`
@@ -25,7 +25,7 @@
 
 // includes reports whether an endpoint is stopped or announced.
 func (p *MaintenancePlan) includes(name string) bool {
-	return slices.Contains(p.Stopped, name) || slices.Contains(p.Announced, name)
+	return slices.Contains(p.Excluded, name) || slices.Contains(p.Announced, name)
 }
 
 // maintenanceState is the plan in force; the zero value is none.
@@ -42,7 +42,7 @@
 	x.cancelTimer(x.maintenance.drainTimer)
 	x.maintenance = maintenanceState{MaintenancePlan: plan}
 	x.applyExclusions(now)
-	if !plan.AwaitingPlan && len(plan.Announced)+len(plan.Stopped) > 0 {
+	if !plan.AwaitingPlan && len(plan.Announced)+len(plan.Excluded) > 0 {
 		x.maintenance.leaseTimer = x.schedule(max(now, plan.LeaseEnd), x.applyExclusions)
 		x.maintenance.drainTimer = x.schedule(max(now, plan.DrainDeadline), x.expireDrainedAttempts)
 	}
@@ -62,7 +62,7 @@
 // applyExclusion applies cordons and the maintenance plan to one endpoint.
 func (p *Pool) applyExclusion(now monotime.Micros, name string, e *Endpoint) {
 	plan := &p.engine.maintenance.MaintenancePlan
-	p.setExcluded(now, e, p.engine.cordons.Cordoned(name) || slices.Contains(plan.Stopped, name))
+	p.setExcluded(now, e, p.engine.cordons.Cordoned(name) || slices.Contains(plan.Excluded, name))
 	announced := slices.Contains(plan.Announced, name)
 	p.balancer.SetPaused(now, e.Number, plan.AwaitingPlan || announced && now >= plan.LeaseEnd)
 	if e.excluded || e.state != balancer.Ready {
@@ -105,7 +105,7 @@
 
 // MaintenanceFacts returns the state of all machines as this instance sees them: the capacity of each by its weight,
 // and how much of that is in use. Without load reports that carry the utilization, the use is 0.
-func (x *Engine) MaintenanceFacts(now monotime.Micros) (facts maintenance.FleetStatus) {
+func (x *Engine) MaintenanceStatus(now monotime.Micros) (facts maintenance.FleetStatus) {
 	for _, p := range x.pools {
 		for name, info := range p.fullEndpointList() {
 			machine := x.machine(now, p, info)
--- a/internal/engine/maintenance_test.go
+++ b/internal/engine/maintenance_test.go
@@ -28,7 +28,7 @@
 			if !a.Endpoint.MaySend(r.now) {
 				t.Errorf("%s is picked, and may not be sent to", a.Endpoint.Name)
 			}
-			r.engine.AttemptEnded(r.now+20_000, a, AttemptResult{Status: balancer.OK, At: r.now + 20_000})
+			r.engine.AttemptEnded(r.now+20_000, a, AttemptResult{Status: balancer.OK, ObservedAt: r.now + 20_000})
 		}
 		r.now += 50_000
 		advanceTo(r.engine, r.now)
@@ -64,7 +64,7 @@
 		t.Errorf("before a plan is known: %v", got)
 	}
 	leaseEnd := r.now + 10*monotime.Second
-	x.ApplyMaintenancePlan(r.now, MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"},
+	x.ApplyMaintenancePlan(r.now, MaintenancePlan{Excluded: []string{"e0"}, Announced: []string{"e1"},
 		LeaseEnd: leaseEnd, DrainDeadline: leaseEnd + monotime.Second})
 	if got := r.sent(t, 60); got["e0"] != 0 || got["e1"]+got["e2"] < 50 {
 		t.Errorf("with one stopped and one announced: %v", got)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -26,7 +26,7 @@
 	InitialEndpoints EndpointUpdate
 
 	// Watch starts or stops the watch of the endpoint list. It must not block.
-	Watch func(on bool)
+	SetWatch func(on bool)
 
 	// Subset has the instance use a part of the endpoint list only; nil is all of it.
 	Subset *subset.Settings
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -155,7 +155,7 @@
 		Name:             "front",
 		Source:           "test",
 		InitialEndpoints: EndpointUpdate{Generation: -1},
-		Watch:            func(bool) {},
+		SetWatch:         func(bool) {},
 		Overload:         &o,
 	})
 	if err != nil {
@@ -189,14 +189,14 @@
 		for len(h.started) > 0 {
 			a := h.nextAttempt()
 			result := AttemptResult{
-				Status: balancer.OK,
-				At:     now + 3000 + monotime.Micros(i%7)*1000,
-				Load:   []float32{float32(i % 5), 20, 0.5},
+				Status:     balancer.OK,
+				ObservedAt: now + 3000 + monotime.Micros(i%7)*1000,
+				Load:       []float32{float32(i % 5), 20, 0.5},
 			}
 			if a.Endpoint.Name == "e1" && i%4 != 0 {
 				result.Status = balancer.Error
 			}
-			x.AttemptEnded(result.At, a, result)
+			x.AttemptEnded(result.ObservedAt, a, result)
 		}
 	}
 	now += monotime.Second / 100
@@ -213,7 +213,7 @@
 	now := goldenRun(t, x, p, h)
 	s := x.Snapshot(now)
 	s.Fleet = x.HandOverCoordination(now)
-	s.Maintenance = &MaintenancePlan{Stopped: []string{"e0"}, Announced: []string{"e1"},
+	s.Maintenance = &MaintenancePlan{Excluded: []string{"e0"}, Announced: []string{"e1"},
 		LeaseEnd: now + monotime.Second, DrainDeadline: now + 2*monotime.Second}
 	return s, now
 }
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -273,7 +273,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := t.Fleet
+	f := t.Settings
 	f.Self, f.Candidates, f.Quota.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.Lenders(f.Candidates, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
 	m, err := coordination.New(f)
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -157,7 +157,7 @@
 	}
 	var err error
 	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observer: observe})
-	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.EndpointUpdate(), Watch: s.source.SetWatching}
+	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.EndpointUpdate(), SetWatch: s.source.SetWatching}
 	if c.Overload {
 		o := overload.DefaultSettings()
 		o.Instances = c.Site.Settings.Balancers
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -107,7 +107,7 @@
 		own.Instances = len(r.plan.Instances)
 		over = &own
 	}
-	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, OnIdleConnections: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, InitialEndpoints: engine.EndpointUpdate{Generation: -1}, Watch: in.watch})
+	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, OnIdleConnections: func(n float64) { in.rest = n }, RetryShare: r.settings.RetryBudget, InitialEndpoints: engine.EndpointUpdate{Generation: -1}, SetWatch: in.watch})
 	if err != nil {
 		return err
 	}
@@ -560,7 +560,7 @@
 		return
 	}
 	r.meter.Costs.Decisions++
-	reply := engine.AttemptResult{Status: status, At: in.local(), Response: nil}
+	reply := engine.AttemptResult{Status: status, ObservedAt: in.local(), Response: nil}
 	if status == balancer.OK {
 		reply.Response = s
 	}
@@ -756,7 +756,7 @@
 	if p.life != p.in.life || p.in.down {
 		return
 	}
-	p.reply.At = p.in.local()
+	p.reply.ObservedAt = p.in.local()
 	p.in.run.meter.Costs.Decisions++
 	p.in.engine.ProbeEnded(p.in.local(), p.pool, p.e, p.sent, p.reply)
 	p.in.settle()
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -33,8 +33,8 @@
 		return nil
 	}
 	t := *in.run.settings.Together
-	t.Fleet.Candidates = Lenders(t.Fleet.Candidates, len(in.run.plan.Instances))
-	t.Fleet.Self, t.Fleet.Seed, t.Fleet.Quota.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
+	t.Settings.Candidates = Lenders(t.Settings.Candidates, len(in.run.plan.Instances))
+	t.Settings.Self, t.Settings.Seed, t.Settings.Quota.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
 	lives := uint64(in.life) << 8
 	t.NextIncarnation = func() uint64 {
 		lives++
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -120,7 +120,7 @@
 }
 
 func (p *Pool) ended(status balancer.Status) engine.AttemptResult {
-	return engine.AttemptResult{Status: status, At: p.o.Clock.Now()}
+	return engine.AttemptResult{Status: status, ObservedAt: p.o.Clock.Now()}
 }
 
 // exchange writes a request and reads its answer. The connection is released, and kept if both are whole. A request that is
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -639,8 +639,8 @@
 		if r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		if took := time.Since(begun); i > 0 && (took < settle/2 || r.At-r.SentAt > took.Microseconds()/2) {
-			t.Errorf("request %d: after %v, of which the endpoint's are %d", i, took, r.At-r.SentAt)
+		if took := time.Since(begun); i > 0 && (took < settle/2 || r.ObservedAt-r.SentAt > took.Microseconds()/2) {
+			t.Errorf("request %d: after %v, of which the endpoint's are %d", i, took, r.ObservedAt-r.SentAt)
 		}
 	}
 	left, leave := context.WithCancel(context.Background())
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -255,14 +255,14 @@
 		whole, err := e.hold(a, http1msg.NewBody(c.r, a.Framing), false)
 		return r, whole && err == nil && !last
 	}
-	began := r.At
+	began := r.ObservedAt
 	body := http1msg.NewBody(c.r, a.Framing)
 	whole, err := e.hold(a, body, q.Rules.Patient)
 	if err != nil {
 		return p.ended(balancer.Reset), false
 	}
 	if whole {
-		r.At = p.o.Clock.Now()
+		r.ObservedAt = p.o.Clock.Now()
 		a.Trailer = body.Trailer()
 		c.SetReadDeadline(time.Time{})
 		return r, !last
@@ -277,7 +277,7 @@
 	}
 	a.Rest = rest
 	failed := r.Status
-	r.Status, r.At = balancer.OK, began
+	r.Status, r.ObservedAt = balancer.OK, began
 	if !e.t.ResponseStarted(r) {
 		return p.ended(balancer.Cancelled), false
 	}
