--- a/internal/decide/fairqueue/heap.go
+++ b/internal/decide/fairqueue/heap.go
@@ -1,73 +1,65 @@
 package fairqueue
 
-// flowHeap is a heap (container/heap) of flows by tag; among equal tags the flow with fewer requests in flight
-// is first.
-type flowHeap []*clientFlow
+// heapElement is an element of an indexedHeap.
+type heapElement[T any] interface {
+	before(other T) bool
+	setHeapIndex(index int)
+}
+
+// indexedHeap is a heap (heap.Interface of container/heap) whose elements know their index, so that they can be
+// removed and moved.
+type indexedHeap[T heapElement[T]] []T
+
+// flowHeap has the flows with waiting requests by tag, expiryHeap the waiting requests by their latest start.
+type (
+	flowHeap   = indexedHeap[*clientFlow]
+	expiryHeap = indexedHeap[*queuedRequest]
+)
 
 // Len is of heap.Interface.
-func (h flowHeap) Len() int { return len(h) }
+func (h indexedHeap[T]) Len() int { return len(h) }
 
 // Less is of heap.Interface.
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].tag != h[j].tag {
-		return h[i].tag < h[j].tag
-	}
-	return h[i].open-len(h[i].queue) < h[j].open-len(h[j].queue)
-}
+func (h indexedHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
 
 // Swap is of heap.Interface.
-func (h flowHeap) Swap(i, j int) {
+func (h indexedHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
+	h[i].setHeapIndex(i)
+	h[j].setHeapIndex(j)
 }
 
 // Push is of heap.Interface.
-func (h *flowHeap) Push(x any) {
-	flow := x.(*clientFlow)
-	flow.heapIndex = len(*h)
-	*h = append(*h, flow)
+func (h *indexedHeap[T]) Push(x any) {
+	element := x.(T)
+	element.setHeapIndex(len(*h))
+	*h = append(*h, element)
 }
 
 // Pop is of heap.Interface.
-func (h *flowHeap) Pop() any {
+func (h *indexedHeap[T]) Pop() any {
+	var none T
 	last := len(*h) - 1
-	flow := (*h)[last]
-	(*h)[last] = nil
-	flow.heapIndex = -1
+	element := (*h)[last]
+	(*h)[last] = none
+	element.setHeapIndex(-1)
 	*h = (*h)[:last]
-	return flow
+	return element
 }
 
-// expiryHeap is a heap (container/heap) of waiting requests by their latest start.
-type expiryHeap []*queuedRequest
-
-// Len is of heap.Interface.
-func (h expiryHeap) Len() int { return len(h) }
-
-// Less is of heap.Interface.
-func (h expiryHeap) Less(i, j int) bool { return h[i].latestStart < h[j].latestStart }
-
-// Swap is of heap.Interface.
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
+// before orders flows by tag; among equal tags the flow with fewer requests in flight is first.
+func (f *clientFlow) before(other *clientFlow) bool {
+	if f.tag != other.tag {
+		return f.tag < other.tag
+	}
+	return f.open-len(f.queue) < other.open-len(other.queue)
 }
 
-// Push is of heap.Interface.
-func (h *expiryHeap) Push(x any) {
-	request := x.(*queuedRequest)
-	request.heapIndex = len(*h)
-	*h = append(*h, request)
-}
+// setHeapIndex notes the flow's index in the heap, -1 outside of it.
+func (f *clientFlow) setHeapIndex(index int) { f.heapIndex = index }
 
-// Pop is of heap.Interface.
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	request := (*h)[last]
-	(*h)[last] = nil
-	request.heapIndex = -1
-	*h = (*h)[:last]
-	return request
-}
+// before orders requests by their latest start.
+func (r *queuedRequest) before(other *queuedRequest) bool { return r.latestStart < other.latestStart }
+
+// setHeapIndex notes the request's index in the heap, -1 outside of it.
+func (r *queuedRequest) setHeapIndex(index int) { r.heapIndex = index }
