Break lines that renames made long in engine and core; move and drop test-only code

Pool.Subset was called by the package's tests only and moves to them as subsetSize; Call.Finished and Call.AttemptCount were called by nobody and go.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -31,10 +31,12 @@
 
 func testSite() *siteconfig.Site {
 	return &siteconfig.Site{Classes: []string{"look"}, Zones: []string{"a"}, Settings: balancer.Settings{Balancers: 1,
-		Classes: []balancer.Class{{Name: "look", Idempotency: balancer.Idempotent, LatencyObjective: 400_000, ClientTimeout: 1_000_000, PriorityWeight: 1}},
-		Limits:  balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpenRequests: 10},
-		Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.2, WarmupTime: 1_000_000, CollapseMultiple: 2.5,
-			CollapseAfter: 1_000_000, PollInterval: 1_000_000}}}
+		Classes: []balancer.Class{{Name: "look", Idempotency: balancer.Idempotent, LatencyObjective: 400_000,
+			ClientTimeout: 1_000_000, PriorityWeight: 1}},
+		Limits: balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpenRequests: 10},
+		Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.2, WarmupTime: 1_000_000,
+			CollapseMultiple: 2.5,
+			CollapseAfter:    1_000_000, PollInterval: 1_000_000}}}
 }
 
 // running runs a core until the test ends.
@@ -178,7 +180,8 @@
 				return engine.AttemptResult{Status: balancer.NotSent}
 			}
 			<-release
-			return engine.AttemptResult{Status: balancer.OK, ObservedAt: p.core.config.Clock.Now(), Response: p.pool.Name()}
+			return engine.AttemptResult{Status: balancer.OK, ObservedAt: p.core.config.Clock.Now(),
+				Response: p.pool.Name()}
 		}}
 }
 
@@ -292,7 +295,8 @@
 	c := p.call(t, client, "1", nil)
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
-		if attempt.ClaimSend(now) && attempt.ResponseStarted(engine.AttemptResult{Status: balancer.OK, ObservedAt: now}) {
+		started := engine.AttemptResult{Status: balancer.OK, ObservedAt: now}
+		if attempt.ClaimSend(now) && attempt.ResponseStarted(started) {
 			<-ctx.Done()
 			close(ended)
 		}
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -12,7 +12,9 @@
 
 // scheduleOutcome records an outcome as the next event of the present instant: not from within the balancer.
 func (x *Engine) scheduleOutcome(a *Attempt, status balancer.Status) {
-	x.schedule(x.now, func(now monotime.Micros) { x.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now}) })
+	x.schedule(x.now, func(now monotime.Micros) {
+		x.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now})
+	})
 }
 
 // recordOutcome passes the outcome of an attempt to all that learn from it, and to the balancer last. The first
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -63,12 +63,6 @@
 	lastResult          *AttemptResult // the latest that carried an endpoint's response
 }
 
-// Finished reports whether the call has its final response, or needs none.
-func (c *Call) Finished() bool { return c.finished }
-
-// AttemptCount returns how many attempts have been started for the call.
-func (c *Call) AttemptCount() int { return len(c.attempts) }
-
 // Attempt is one send of a request to an endpoint. The host reports its end once, and the engine passes it to the
 // balancer once.
 type Attempt struct {
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -131,7 +131,8 @@
 	if retries < 80 {
 		t.Errorf("%d of 100 failures are retried, of a budget of a fifth of all", retries)
 	}
-	if v := fleetView(t, x, 30*monotime.Second); v.LeaseRemaining == 0 || v.Budgets[0].Budget != "further" || v.Budgets[0].Allowed == 0 {
+	v := fleetView(t, x, 30*monotime.Second)
+	if v.LeaseRemaining == 0 || v.Budgets[0].Budget != "further" || v.Budgets[0].Allowed == 0 {
 		t.Errorf("%+v", v)
 	}
 }
--- a/internal/engine/cordon.go
+++ b/internal/engine/cordon.go
@@ -9,7 +9,8 @@
 // SetCordon takes an endpoint out of service in all pools that list it, or lets it back in. The instant at is on the
 // clock of cordons, which all processes that exchange them share. It returns the cordon that was set; known is false,
 // and nothing is changed, for a name that no pool lists and that is not cordoned.
-func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (entry cordon.Record, known bool) {
+func (x *Engine) SetCordon(now monotime.Micros, name string, out bool, at monotime.Micros) (
+	entry cordon.Record, known bool) {
 	for _, p := range x.pools {
 		known = known || p.listsEndpoint(name)
 	}
--- a/internal/engine/helpers_test.go
+++ b/internal/engine/helpers_test.go
@@ -98,9 +98,11 @@
 	t.Helper()
 	s := balancer.Settings{Balancers: 5000, ZoneCount: 1, LoadMetrics: []balancer.LoadMetric{balancer.MetricInflight},
 		Classes: []balancer.Class{{Name: "look", LatencyObjective: 200_000, ClientTimeout: 500_000, PriorityWeight: 1}},
-		Limits:  balancer.Limits{Probes: true, Hedging: true, MaxAttempts: 3, MaxOpenRequests: 100, DialTimeout: 100_000},
-		Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.2, WarmupTime: 20 * monotime.Second, CollapseMultiple: 2.5,
-			CollapseAfter: 2 * monotime.Second, PollInterval: 10 * monotime.Second}, Goal: balancer.Goal{Overall: 1}}
+		Limits: balancer.Limits{Probes: true, Hedging: true, MaxAttempts: 3, MaxOpenRequests: 100,
+			DialTimeout: 100_000},
+		Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.2, WarmupTime: 20 * monotime.Second,
+			CollapseMultiple: 2.5,
+			CollapseAfter:    2 * monotime.Second, PollInterval: 10 * monotime.Second}, Goal: balancer.Goal{Overall: 1}}
 	h := &answeringHost{failing: map[string]bool{}, attempts: map[string]int{}, verdicts: map[Verdict]int{}}
 	site := &siteconfig.Site{Settings: s, Classes: []string{"look"}, Zones: []string{"a"}}
 	h.engine = New(Config{Site: site, Seed: 5, Host: h})
@@ -173,8 +175,9 @@
 			},
 			Limits: balancer.Limits{RetryAfter: true, MaxRetryAfter: 400_000, MaxAttempts: 3, MaxOpenRequests: 1000,
 				DialTimeout: 100_000},
-			Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.3, WarmupTime: monotime.Second, CollapseMultiple: 2.5,
-				CollapseAfter: monotime.Second, PollInterval: 10 * monotime.Second},
+			Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.3, WarmupTime: monotime.Second,
+				CollapseMultiple: 2.5,
+				CollapseAfter:    monotime.Second, PollInterval: 10 * monotime.Second},
 			Goal: balancer.Goal{Overall: 1},
 		},
 	}
@@ -255,3 +258,12 @@
 	}
 	return view
 }
+
+// subsetSize returns how many endpoints the instance uses, of how many that are listed, and how often the subset has
+// been widened. A pool that uses all of its list returns its length twice, and 0.
+func (p *Pool) subsetSize() (members, listed, widened int) {
+	if p.subset == nil {
+		return len(p.byName), len(p.byName), 0
+	}
+	return len(p.subset.set.Members()), len(p.subset.endpoints), p.subset.set.Doublings()
+}
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// MaintenancePlan is the part of the fleet's maintenance plan (package work) that one instance has to follow.
+// MaintenancePlan is the part of the fleet's maintenance plan (package maintenance) that one instance has to follow.
 type MaintenancePlan struct {
 	// AwaitingPlan says that no plan is known yet: nothing is sent to any endpoint.
 	AwaitingPlan bool `json:"Wait"`
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -36,7 +36,10 @@
 		WorstClass: site.Goal.WorstClass,
 	}
 	for i := range site.Classes {
-		s.Classes = append(s.Classes, overload.Class{PriorityWeight: site.Classes[i].PriorityWeight, LatencyObjective: site.Classes[i].LatencyObjective})
+		s.Classes = append(s.Classes, overload.Class{
+			PriorityWeight:   site.Classes[i].PriorityWeight,
+			LatencyObjective: site.Classes[i].LatencyObjective,
+		})
 	}
 	for i := range site.Tenants {
 		s.Tenants = append(s.Tenants, overload.Tenant{Allowance: site.Tenants[i].Quota})
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -78,7 +78,8 @@
 // classFingerprint identifies the settings of a class.
 func classFingerprint(c *balancer.Class) string {
 	return fmt.Sprintf(classFingerprintFormat,
-		c.Name, c.Idempotency, c.DedupScope, c.DedupWindow, c.LatencyObjective, c.ClientTimeout, c.PriorityWeight, c.LateWeight, c.Streaming)
+		c.Name, c.Idempotency, c.DedupScope, c.DedupWindow, c.LatencyObjective, c.ClientTimeout,
+		c.PriorityWeight, c.LateWeight, c.Streaming)
 }
 
 // tenantFingerprint identifies the settings of a tenant.
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -138,7 +138,8 @@
 	t.Helper()
 	h := &recordingHost{responses: map[string]Response{}}
 	s := tenantSite(10, 1, 0)
-	s.Settings.LoadMetrics = []balancer.LoadMetric{balancer.MetricInflight, balancer.MetricServedRate, balancer.MetricUtilization}
+	s.Settings.LoadMetrics = []balancer.LoadMetric{balancer.MetricInflight, balancer.MetricServedRate,
+		balancer.MetricUtilization}
 	s.Settings.Contract.WarmupTime = 20 * monotime.Second
 	x := New(Config{Site: s, Seed: 3, Host: h, Concurrency: ConcurrencySettings{
 		MaxOpen:  1000,
@@ -251,9 +252,11 @@
 	}{
 		{balancer.Class{},
 			"{Name: Repeat:0 Group:0 Window:0 Aim:0 GiveUp:0 Worth:0 LateWorth:0 Stream:false}"},
-		{balancer.Class{Name: "look", Idempotency: balancer.Idempotent, LatencyObjective: 200_000, ClientTimeout: 500_000, PriorityWeight: 1, LateWeight: 0.25},
+		{balancer.Class{Name: "look", Idempotency: balancer.Idempotent, LatencyObjective: 200_000,
+			ClientTimeout: 500_000, PriorityWeight: 1, LateWeight: 0.25},
 			"{Name:look Repeat:0 Group:0 Window:0 Aim:200000 GiveUp:500000 Worth:1 LateWorth:0.25 Stream:false}"},
-		{balancer.Class{Name: "a class", Idempotency: balancer.IdempotentByKey, DedupScope: balancer.DedupCell, DedupWindow: 60_000_000,
+		{balancer.Class{Name: "a class", Idempotency: balancer.IdempotentByKey, DedupScope: balancer.DedupCell,
+			DedupWindow:      60_000_000,
 			LatencyObjective: 1, ClientTimeout: -1, PriorityWeight: 1e21, LateWeight: 1e-7, Streaming: true},
 			"{Name:a class Repeat:1 Group:2 Window:60000000 Aim:1 GiveUp:-1 Worth:1e+21 LateWorth:1e-07 Stream:true}"},
 		{balancer.Class{Name: "x", Idempotency: balancer.NonIdempotent, DedupScope: balancer.DedupZone,
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -290,15 +290,6 @@
 	return allowed
 }
 
-// Subset returns how many endpoints the instance uses, of how many that are listed, and how often the subset has been
-// widened. A pool that uses all of its list returns its length twice, and 0.
-func (p *Pool) Subset() (members, listed, widened int) {
-	if p.subset == nil {
-		return len(p.byName), len(p.byName), 0
-	}
-	return len(p.subset.set.Members()), len(p.subset.endpoints), p.subset.set.Doublings()
-}
-
 // hashString is the 32-bit FNV-1a hash of a string.
 func hashString(s string) uint32 {
 	h := fnv.New32a()
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -22,12 +22,12 @@
 func TestSubsetWidensWhenAllMembersFail(t *testing.T) {
 	h, c, _ := newQuietInstance(t, 0)
 	now := h.run(c, 1_000*monotime.Second, 100, monotime.Second/5)
-	own, _, _ := h.pool.Subset()
+	own, _, _ := h.pool.subsetSize()
 	for name := range h.pool.byName {
 		h.failing[name] = true
 	}
 	now = h.run(c, now, 100, monotime.Second/5)
-	members, listed, widened := h.pool.Subset()
+	members, listed, widened := h.pool.subsetSize()
 	if widened == 0 || members <= own || listed != 60 {
 		t.Fatalf("%d of %d members, widened %d times", members, listed, widened)
 	}
@@ -38,7 +38,7 @@
 	}
 	h.failing = map[string]bool{}
 	now = h.run(c, now, 1500, monotime.Second/5)
-	if _, _, widened := h.pool.Subset(); widened != 0 {
+	if _, _, widened := h.pool.subsetSize(); widened != 0 {
 		t.Errorf("all are well, and it stays widened %d times", widened)
 	}
 	for name, m := range h.pool.endpointList {
@@ -70,7 +70,7 @@
 func TestSubsetFollowsFullEndpointList(t *testing.T) {
 	h, c, list := newQuietInstance(t, 0)
 	now := h.run(c, 1_000*monotime.Second, 10, monotime.Second/5)
-	before, _, _ := h.pool.Subset()
+	before, _, _ := h.pool.subsetSize()
 	var gone string
 	for name := range h.pool.byName {
 		gone = name
@@ -79,7 +79,7 @@
 	leaves := EndpointInfo{Name: gone, State: balancer.Gone}
 	h.pool.UpdateEndpoints(now, EndpointUpdate{Kind: balancer.ListDelta, Generation: 2,
 		Endpoints: []EndpointInfo{leaves, fresh}})
-	after, listed, _ := h.pool.Subset()
+	after, listed, _ := h.pool.subsetSize()
 	if listed != 60 || h.pool.byName[gone] != nil || after < before-1 {
 		t.Errorf("%d of %d members, %d before; the one that is gone is held: %v",
 			after, listed, before, h.pool.byName[gone] != nil)
@@ -107,14 +107,14 @@
 func TestSubsetGrowsWithLoad(t *testing.T) {
 	h, c, _ := newQuietInstance(t, 0)
 	now := h.run(c, 1_000*monotime.Second, 50, monotime.Second/5)
-	before, _, _ := h.pool.Subset()
+	before, _, _ := h.pool.subsetSize()
 	h.attempts = map[string]int{}
 	now = h.run(c, now, 3000, monotime.Second/1500) // thirty in flight at 20 ms each
-	if members, _, _ := h.pool.Subset(); members < 2*before || len(h.attempts) < 2*before {
+	if members, _, _ := h.pool.subsetSize(); members < 2*before || len(h.attempts) < 2*before {
 		t.Errorf("%d members, %d endpoints used, %d members before", members, len(h.attempts), before)
 	}
 	h.run(c, now, 300, monotime.Second/5)
-	if members, _, _ := h.pool.Subset(); members != before {
+	if members, _, _ := h.pool.subsetSize(); members != before {
 		t.Errorf("%d members when it is quiet again, %d before", members, before)
 	}
 }
