Document and shorten package lease

One message is sent in one place (broadcast), answers are handled in functions of their own, one step stands on a line, and limits are named constants. Tests say the behaviour; the test of settings is a table with names. Three test functions and the property test are the same in number and check the same. No random draw moves.

--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -12,243 +12,277 @@
 	"dunlinsail/internal/monotime"
 )
 
-const length monotime.Micros = 2_000_000
+const leaseDuration monotime.Micros = 2_000_000
 
-// world plays voters whose clocks run at rates of their own, over ways that lose, delay, double and reorder words.
-type world struct {
-	rng    *rand.Rand
-	names  []string
-	drift  float64
-	now    float64 // true time
-	voters []*Voter
-	rates  []float64
-	starts []float64 // true time at which the own clock was 0
-	asleep []float64 // stopped until then
-	lives  uint64
-	words  []flying
-	cut    func(from, to int) bool
-	loss   float64
-	late   float64
+// cluster simulates voters with clocks of different rates, over a network that loses, delays, duplicates and reorders
+// messages.
+type cluster struct {
+	rng           *rand.Rand
+	names         []string
+	drift         float64
+	now           float64 // true time
+	voters        []*Voter
+	clockRates    []float64
+	clockOrigins  []float64 // true time at which the local clock was 0
+	stoppedUntil  []float64 // true time
+	incarnations  uint64
+	inFlight      []inFlightMessage
+	partitioned   func(from, to int) bool
+	loss          float64
+	maxExtraDelay float64
 
-	held  int // holder found last, -1 for none
-	ops   []porcupine.Operation
-	holds []Term // of each voter, as found last
-	terms map[Term]bool
-	spans int
+	holder        int // as observed last; -1 is none
+	operations    []porcupine.Operation
+	observedTerms []Term // of each voter, as observed last
+	terms         map[Term]bool
+	termCount     int
 }
 
-type flying struct {
-	at       float64
-	from, to int
-	w        Message
+type inFlightMessage struct {
+	arrivesAt float64
+	from, to  int
+	message   Message
 }
 
-func newWorld(n int, seed uint64, drift float64) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), drift: drift, held: -1, terms: map[Term]bool{}, cut: func(int, int) bool { return false }}
+// connected has all messages pass.
+func connected(int, int) bool { return false }
+
+func newCluster(n int, seed uint64, drift float64) *cluster {
+	c := &cluster{
+		rng:         rand.New(rand.NewPCG(seed, 7)),
+		drift:       drift,
+		holder:      -1,
+		terms:       map[Term]bool{},
+		partitioned: connected,
+	}
 	for i := range n {
-		w.names = append(w.names, fmt.Sprint("v", i))
+		c.names = append(c.names, fmt.Sprint("v", i))
 	}
-	w.holds = make([]Term, n)
-	w.voters, w.rates, w.starts, w.asleep = make([]*Voter, n), make([]float64, n), make([]float64, n), make([]float64, n)
+	c.observedTerms = make([]Term, n)
+	c.voters = make([]*Voter, n)
+	c.clockRates = make([]float64, n)
+	c.clockOrigins = make([]float64, n)
+	c.stoppedUntil = make([]float64, n)
 	for i := range n {
-		w.start(i)
+		c.start(i)
 	}
-	return w
+	return c
 }
 
 // start starts a process anew, with a clock of its own.
-func (w *world) start(i int) {
-	w.lives++
-	if was := w.holds[i]; was != (Term{}) { // a process that is killed holds nothing any more
-		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{was, false}, Call: int64(w.now), Return: int64(w.now)})
-		w.holds[i] = Term{}
+func (c *cluster) start(i int) {
+	c.incarnations++
+	if held := c.observedTerms[i]; held != (Term{}) { // a killed process holds nothing any more
+		c.recordOperation(i, lockOperation{held, false}, c.now)
+		c.observedTerms[i] = Term{}
 	}
-	w.rates[i] = 1 + w.drift*(2*w.rng.Float64()-1)
-	w.starts[i], w.asleep[i] = w.now-1e6*w.rng.Float64(), 0
-	v, err := New(w.clock(i), Settings{Self: w.names[i], Incarnation: w.lives, Voters: w.names, Duration: length, MaxClockDrift: w.drift, Seed: w.lives})
+	c.clockRates[i] = 1 + c.drift*(2*c.rng.Float64()-1)
+	c.clockOrigins[i] = c.now - 1e6*c.rng.Float64()
+	c.stoppedUntil[i] = 0
+	v, err := New(c.clock(i), Settings{
+		Self:          c.names[i],
+		Incarnation:   c.incarnations,
+		Voters:        c.names,
+		Duration:      leaseDuration,
+		MaxClockDrift: c.drift,
+		Seed:          c.incarnations,
+	})
 	if err != nil {
 		panic(err)
 	}
-	w.voters[i] = v
+	c.voters[i] = v
 }
 
-func (w *world) clock(i int) monotime.Micros {
-	return monotime.Micros((w.now - w.starts[i]) * w.rates[i])
+func (c *cluster) clock(i int) monotime.Micros {
+	return monotime.Micros((c.now - c.clockOrigins[i]) * c.clockRates[i])
 }
 
-func (w *world) send(i int) {
-	for _, o := range w.voters[i].TakeOutgoing() {
-		to := slices.Index(w.names, o.To)
-		for copies := 1; copies > 0 && w.rng.Float64() >= w.loss; copies-- {
-			if w.rng.Float64() < w.loss {
-				copies++ // it comes twice
+func (c *cluster) send(i int) {
+	for _, o := range c.voters[i].TakeOutgoing() {
+		to := slices.Index(c.names, o.To)
+		for copies := 1; copies > 0 && c.rng.Float64() >= c.loss; copies-- {
+			if c.rng.Float64() < c.loss {
+				copies++ // it is duplicated
 			}
-			delay := 200 + w.rng.ExpFloat64()*1000
-			if w.rng.Float64() < w.loss {
-				delay += w.rng.Float64() * w.late
+			delay := 200 + c.rng.ExpFloat64()*1000
+			if c.rng.Float64() < c.loss {
+				delay += c.rng.Float64() * c.maxExtraDelay
 			}
-			w.words = append(w.words, flying{w.now + delay, i, to, o.Message})
+			c.inFlight = append(c.inFlight, inFlightMessage{c.now + delay, i, to, o.Message})
 		}
 	}
 }
 
-// step goes on by a while, and returns an error if two hold the lease.
-func (w *world) step(d float64) error {
-	w.now += d
-	due := w.words
-	w.words = nil
+// step advances the time by d, and returns an error if two voters hold the lease.
+func (c *cluster) step(d float64) error {
+	c.now += d
+	due := c.inFlight
+	c.inFlight = nil
 	for _, f := range due {
 		switch {
-		case f.at > w.now || w.asleep[f.to] > w.now:
-			w.words = append(w.words, f)
-		case !w.cut(f.from, f.to):
-			w.voters[f.to].Receive(w.clock(f.to), w.names[f.from], f.w)
-			w.send(f.to)
+		case f.arrivesAt > c.now || c.stoppedUntil[f.to] > c.now:
+			c.inFlight = append(c.inFlight, f)
+		case !c.partitioned(f.from, f.to):
+			c.voters[f.to].Receive(c.clock(f.to), c.names[f.from], f.message)
+			c.send(f.to)
 		}
 	}
 	holders := 0
-	for i, v := range w.voters {
-		if w.asleep[i] <= w.now && w.clock(i) >= v.NextTick() {
-			v.Tick(w.clock(i))
-			w.send(i)
+	for i, v := range c.voters {
+		if c.stoppedUntil[i] <= c.now && c.clock(i) >= v.NextTick() {
+			v.Tick(c.clock(i))
+			c.send(i)
 		}
-		w.note(i, v)
-		if t, _, yes := v.HeldTerm(w.clock(i)); yes { // one that is stopped holds it, too: it may wake
+		c.observe(i, v)
+		if t, _, held := v.HeldTerm(c.clock(i)); held { // one that is stopped holds it, too: it may resume
 			holders++
-			if !w.terms[t] {
-				w.terms[t] = true
-				w.spans++
+			if !c.terms[t] {
+				c.terms[t] = true
+				c.termCount++
 			}
-			w.held = i
+			c.holder = i
 		}
 	}
 	if holders > 1 {
-		return fmt.Errorf("%d hold the lease at %.0f", holders, w.now)
+		return fmt.Errorf("%d hold the lease at %.0f", holders, c.now)
 	}
 	if holders == 0 {
-		w.held = -1
+		c.holder = -1
 	}
 	return nil
 }
 
-// input is what a voter did to the lease: won it, or lost it.
-type input struct {
-	who Term
-	won bool
+// lockOperation is a voter winning the lease, or losing it.
+type lockOperation struct {
+	term     Term
+	acquired bool
 }
 
-// note notes when a voter wins and loses the lease, as operations on a lock: winning takes from the question to the votes.
-func (w *world) note(i int, v *Voter) {
-	t, _, yes := v.HeldTerm(w.clock(i))
-	if !yes {
-		t = Term{}
-	}
-	was := w.holds[i]
-	if was == t {
+// observe records when a voter wins and loses the lease, as operations on a lock: winning takes from the requests to
+// the votes.
+func (c *cluster) observe(i int, v *Voter) {
+	t, _, _ := v.HeldTerm(c.clock(i))
+	before := c.observedTerms[i]
+	if before == t {
 		return
 	}
-	if was != (Term{}) {
-		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{was, false}, Call: int64(w.now), Output: nil, Return: int64(w.now)})
+	if before != (Term{}) {
+		c.recordOperation(i, lockOperation{before, false}, c.now)
 	}
 	if t != (Term{}) {
-		asked := float64(v.requestedAt)/w.rates[i] + w.starts[i]
-		w.ops = append(w.ops, porcupine.Operation{ClientId: i, Input: input{t, true}, Call: int64(asked), Output: nil, Return: int64(w.now)})
+		requestedAt := float64(v.requestedAt)/c.clockRates[i] + c.clockOrigins[i]
+		c.recordOperation(i, lockOperation{t, true}, requestedAt)
 	}
-	w.holds[i] = t
+	c.observedTerms[i] = t
 }
 
-// lock is a lock that is taken and let go.
-var lock = porcupine.Model{
+// recordOperation records an operation of a voter that was called at an instant and returns now.
+func (c *cluster) recordOperation(i int, op lockOperation, calledAt float64) {
+	c.operations = append(c.operations, porcupine.Operation{
+		ClientId: i, Input: op, Call: int64(calledAt), Return: int64(c.now),
+	})
+}
+
+// lockModel is a lock that is acquired and released.
+var lockModel = porcupine.Model{
 	Init: func() any { return Term{} },
 	Step: func(state, in, _ any) (bool, any) {
-		if op := in.(input); op.won {
-			return state == Term{}, op.who
+		if op := in.(lockOperation); op.acquired {
+			return state == Term{}, op.term
 		} else {
-			return state == op.who, Term{}
+			return state == op.term, Term{}
 		}
 	},
 }
 
-func (w *world) run(t interface{ Fatal(...any) }, d float64) {
-	for end := w.now + d; w.now < end; {
-		if err := w.step(2000); err != nil {
+func (c *cluster) run(t interface{ Fatal(...any) }, d float64) {
+	for end := c.now + d; c.now < end; {
+		if err := c.step(2000); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-// Whatever happens two never hold it; once nothing more happens one does, soon, and goes on to.
-func TestOneHolder(t *testing.T) {
+// Whatever the faults, two voters never hold the lease; once they end, one voter wins it soon and keeps it.
+func TestNeverTwoHoldersAndOneElectedOnceFaultsEnd(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(r, "voters")
-		w := newWorld(n, rapid.Uint64().Draw(r, "seed"), rapid.SampledFrom([]float64{0, 0.01}).Draw(r, "drift"))
-		w.loss, w.late = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(r, "loss"), float64(3*length)
+		c := newCluster(n, rapid.Uint64().Draw(r, "seed"), rapid.SampledFrom([]float64{0, 0.01}).Draw(r, "drift"))
+		c.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(r, "loss")
+		c.maxExtraDelay = float64(3 * leaseDuration)
 		for range rapid.IntRange(0, 12).Draw(r, "faults") {
 			i := rapid.IntRange(0, n-1).Draw(r, "whom")
 			switch rapid.SampledFrom([]string{"kill", "stop", "split", "one way", "heal", "all"}).Draw(r, "fault") {
 			case "kill":
-				w.start(i)
+				c.start(i)
 			case "all":
 				for j := range n {
-					w.start(j)
+					c.start(j)
 				}
 			case "stop":
-				w.asleep[i] = w.now + w.rng.Float64()*float64(2*length)
+				c.stoppedUntil[i] = c.now + c.rng.Float64()*float64(2*leaseDuration)
 			case "split":
-				w.cut = func(from, to int) bool { return (from <= i) != (to <= i) }
+				c.partitioned = func(from, to int) bool { return (from <= i) != (to <= i) }
 			case "one way":
-				w.cut = func(from, to int) bool { return from <= i && to > i }
+				c.partitioned = func(from, to int) bool { return from <= i && to > i }
 			case "heal":
-				w.cut = func(int, int) bool { return false }
+				c.partitioned = connected
 			}
-			w.run(r, w.rng.Float64()*float64(2*length))
+			c.run(r, c.rng.Float64()*float64(2*leaseDuration))
 		}
-		w.cut, w.loss = func(int, int) bool { return false }, 0
-		w.run(r, float64(8*length))
-		if w.held < 0 {
+		c.partitioned = connected
+		c.loss = 0
+		c.run(r, float64(8*leaseDuration))
+		if c.holder < 0 {
 			r.Fatal("nobody holds the lease after 16 s without a fault")
 		}
-		terms := w.spans
-		w.run(r, float64(4*length))
-		if w.spans != terms {
-			r.Fatal("it changed hands without a cause")
+		terms := c.termCount
+		c.run(r, float64(4*leaseDuration))
+		if c.termCount != terms {
+			r.Fatal("the lease changed hands without a cause")
 		}
-		if !porcupine.CheckOperations(lock, w.ops) {
-			r.Fatalf("its holders are not those of a lock: %+v", w.ops)
+		if !porcupine.CheckOperations(lockModel, c.operations) {
+			r.Fatalf("the holders are not those of a lock: %+v", c.operations)
 		}
 	})
 }
 
-// What the argument rests on, each taken away: the search finds two holders.
-func TestPlanted(t *testing.T) {
-	for name, spoil := range map[string]func(v *Voter){
-		"a voter that starts votes at once":      func(v *Voter) { v.votesFrom = 0; v.nextRoundAt = v.randomDelay() },
-		"votes that end before the lease does":   func(v *Voter) { v.vote.expiresAt = min(v.vote.expiresAt, v.vote.expiresAt-length/2) },
-		"a lease that is counted from its votes": func(v *Voter) { v.heldUntil += length / 2 },
+// Without any one of the rules that the safety argument rests on, the checker finds two holders.
+func TestCheckerDetectsPlantedErrors(t *testing.T) {
+	for name, plant := range map[string]func(v *Voter){
+		"a voter that starts votes at once": func(v *Voter) {
+			v.votesFrom = 0
+			v.nextRoundAt = v.randomDelay()
+		},
+		"votes that end before the lease does": func(v *Voter) {
+			v.vote.expiresAt = min(v.vote.expiresAt, v.vote.expiresAt-leaseDuration/2)
+		},
+		"a lease that is counted from its votes": func(v *Voter) { v.heldUntil += leaseDuration / 2 },
 	} {
 		found := false
 		for seed := uint64(0); seed < 300 && !found; seed++ {
-			w := newWorld(3, seed, 0.01)
-			w.loss, w.late = 0.05, float64(length)
+			c := newCluster(3, seed, 0.01)
+			c.loss = 0.05
+			c.maxExtraDelay = float64(leaseDuration)
 			for range 30 {
-				i := w.rng.IntN(3)
-				switch w.rng.IntN(3) {
+				i := c.rng.IntN(3)
+				switch c.rng.IntN(3) {
 				case 0:
-					w.start(i)
+					c.start(i)
 					if name == "a voter that starts votes at once" {
-						spoil(w.voters[i])
+						plant(c.voters[i])
 					}
 				case 1:
-					w.cut = func(from, to int) bool { return (from == i) != (to == i) }
+					c.partitioned = func(from, to int) bool { return (from == i) != (to == i) }
 				case 2:
-					w.cut = func(int, int) bool { return false }
+					c.partitioned = connected
 				}
 				for range 300 {
-					if w.step(5000) != nil {
+					if c.step(5000) != nil {
 						found = true
 					}
-					if name != "a voter that starts votes at once" && w.rng.IntN(20) == 0 {
-						spoil(w.voters[w.rng.IntN(3)])
+					if name != "a voter that starts votes at once" && c.rng.IntN(20) == 0 {
+						plant(c.voters[c.rng.IntN(3)])
 					}
 				}
 			}
@@ -259,27 +293,32 @@
 	}
 }
 
-func TestResign(t *testing.T) {
-	w := newWorld(3, 1, 0)
-	w.run(t, float64(3*length))
-	was, before := w.held, w.now
-	if was < 0 {
-		t.Fatal("nobody holds it")
+func TestResignLetsAnotherVoterWinAtOnce(t *testing.T) {
+	c := newCluster(3, 1, 0)
+	c.run(t, float64(3*leaseDuration))
+	first := c.holder
+	resignedAt := c.now
+	if first < 0 {
+		t.Fatal("nobody holds the lease")
 	}
-	w.voters[was].Resign(w.clock(was))
-	w.send(was)
-	for w.held < 0 || w.held == was {
-		if err := w.step(1000); err != nil || w.now > before+float64(length) {
-			t.Fatalf("%v; after %.0f us nobody else holds it", err, w.now-before)
+	c.voters[first].Resign(c.clock(first))
+	c.send(first)
+	for c.holder < 0 || c.holder == first {
+		if err := c.step(1000); err != nil || c.now > resignedAt+float64(leaseDuration) {
+			t.Fatalf("%v; after %.0f us nobody else holds the lease", err, c.now-resignedAt)
 		}
 	}
 }
 
-func TestSettings(t *testing.T) {
-	for _, s := range []Settings{{Self: "a", Voters: []string{"b"}, Duration: length}, {Self: "a", Voters: []string{"a"}},
-		{Self: "a", Voters: []string{"a", "a"}, Duration: length}, {Self: "a", Voters: []string{"a"}, Duration: length, MaxClockDrift: 0.5}} {
+func TestInvalidSettingsAreRejected(t *testing.T) {
+	for name, s := range map[string]Settings{
+		"self is no voter":         {Self: "a", Voters: []string{"b"}, Duration: leaseDuration},
+		"no duration":              {Self: "a", Voters: []string{"a"}},
+		"a voter twice":            {Self: "a", Voters: []string{"a", "a"}, Duration: leaseDuration},
+		"clocks of arbitrary rate": {Self: "a", Voters: []string{"a"}, Duration: leaseDuration, MaxClockDrift: 0.5},
+	} {
 		if _, err := New(0, s); err == nil {
-			t.Errorf("%+v is taken", s)
+			t.Errorf("%s: %+v is accepted", name, s)
 		}
 	}
 }
--- a/internal/decide/lease/voter.go
+++ b/internal/decide/lease/voter.go
@@ -8,7 +8,28 @@
 	"dunlinsail/internal/monotime"
 )
 
-// vote is what a voter has given.
+// Voter grants its vote to candidates and is a candidate itself. Create one with New. It is not safe for concurrent
+// use.
+type Voter struct {
+	settings Settings
+	rng      *rand.Rand
+	outgoing []Outgoing
+
+	// As a voter.
+	vote      vote
+	votesFrom monotime.Micros // it grants no vote before this instant
+
+	// As a candidate.
+	round       uint64          // number of the latest round
+	requestedAt monotime.Micros // when the latest round started
+	roundOpen   bool            // the latest round is neither won nor abandoned
+	grantedBy   []string        // voters that have granted their votes in it
+	nextRoundAt monotime.Micros // when to start the next one
+	heldUntil   monotime.Micros // when the lease that it holds ends
+	term        Term            // in which it holds the lease, or held it last
+}
+
+// vote is a vote that was granted.
 type vote struct {
 	holder      string
 	incarnation uint64
@@ -16,72 +37,75 @@
 	expiresAt   monotime.Micros
 }
 
-// Voter is one of the voters: it votes, and tries to win the lease itself. Make one with New.
-type Voter struct {
-	settings  Settings
-	rng       *rand.Rand
-	outgoing  []Outgoing
-	vote      vote
-	votesFrom monotime.Micros // it gives none before this instant
-
-	round       uint64 // of the latest question
-	requestedAt monotime.Micros
-	roundOpen   bool // and it has not been answered by a majority, nor given up
-	grantedBy   []string
-	nextRoundAt monotime.Micros // when to ask next
-	heldUntil   monotime.Micros // when the lease ends that it holds
-	term        Term
+// New returns the voter of a process that has just started, or a *setting.Error.
+func New(now monotime.Micros, s Settings) (*Voter, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	v := &Voter{
+		settings:  s,
+		rng:       rand.New(rand.NewPCG(s.Seed, s.Incarnation)),
+		votesFrom: now + s.voteDuration(),
+	}
+	v.nextRoundAt = v.votesFrom + v.randomDelay()
+	return v, nil
 }
 
-// New returns a voter whose process has just started, or a *setting.Error.
-func New(now monotime.Micros, s Settings) (*Voter, error) {
+func (s *Settings) validate() error {
 	switch {
 	case !slices.Contains(s.Voters, s.Self):
-		return nil, invalidSetting("self", "is none of the voters")
-	case s.Duration < 1000:
-		return nil, invalidSetting("length", "must be a millisecond at least")
-	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= 0.1):
-		return nil, invalidSetting("drift", "must be in 0..0.1")
+		return invalidSetting("self", "is none of the voters")
+	case s.Duration < minDuration:
+		return invalidSetting("length", "must be a millisecond at least")
+	case !(s.MaxClockDrift >= 0 && s.MaxClockDrift <= maxClockDrift):
+		return invalidSetting("drift", "must be in 0..0.1")
 	}
 	for i, name := range s.Voters {
 		if slices.Contains(s.Voters[:i], name) {
-			return nil, invalidSetting("voters", fmt.Sprintf("%q stands there twice", name))
+			return invalidSetting("voters", fmt.Sprintf("%q stands there twice", name))
 		}
 	}
-	v := &Voter{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), votesFrom: now + ExtendForDrift(s.Duration, s.MaxClockDrift)}
-	v.nextRoundAt = v.votesFrom + v.randomDelay()
-	return v, nil
+	return nil
 }
 
-// soon is a short random while: who asks at once with another keeps both from a majority.
+// voteDuration is for how long a vote is valid: no lease that it wins is valid for longer by any clock.
+func (s *Settings) voteDuration() monotime.Micros { return ExtendForDrift(s.Duration, s.MaxClockDrift) }
+
+// randomDelay returns a short random time. Candidates that start rounds at once would keep each other from a majority.
 func (v *Voter) randomDelay() monotime.Micros { return 1 + v.rng.Int64N(max(1, v.settings.Duration/4)) }
 
-// Holds returns the term in which this process holds the lease, and until when it does if it is not won anew.
-func (v *Voter) HeldTerm(now monotime.Micros) (t Term, until monotime.Micros, yes bool) {
-	if now >= v.heldUntil || v.term == (Term{}) {
+// HeldTerm returns the term in which this process holds the lease at now, and when the lease ends unless it is renewed.
+// held is false if it does not hold the lease.
+func (v *Voter) HeldTerm(now monotime.Micros) (t Term, until monotime.Micros, held bool) {
+	if !v.holds(now) {
 		return Term{}, 0, false
 	}
 	return v.term, v.heldUntil, true
 }
 
-// Next is when Tick has something to do.
+func (v *Voter) holds(now monotime.Micros) bool { return now < v.heldUntil && v.term != (Term{}) }
+
+// NextTick returns when Tick must be called next.
 func (v *Voter) NextTick() monotime.Micros {
 	if v.roundOpen {
-		return v.requestedAt + v.settings.Duration/2
+		return v.roundDeadline()
 	}
 	return v.nextRoundAt
 }
 
-// Take returns what is to be told since it was called last.
+// roundDeadline is when the open round is abandoned.
+func (v *Voter) roundDeadline() monotime.Micros { return v.requestedAt + v.settings.Duration/2 }
+
+// TakeOutgoing returns the messages to send since it was called last.
 func (v *Voter) TakeOutgoing() []Outgoing {
-	out := v.outgoing
+	taken := v.outgoing
 	v.outgoing = nil
-	return out
+	return taken
 }
 
-// Tick does what is due.
+// Tick does what is due at now: it abandons a round that is unanswered and starts the next one.
 func (v *Voter) Tick(now monotime.Micros) {
-	if v.roundOpen && now >= v.requestedAt+v.settings.Duration/2 {
+	if v.roundOpen && now >= v.roundDeadline() {
 		v.abandonRound(now)
 	}
 	if !v.roundOpen && now >= v.nextRoundAt {
@@ -89,96 +113,98 @@
 	}
 }
 
-// ask asks all for their votes.
+// Resign gives up the lease, if it is held, because the process is about to end.
+func (v *Voter) Resign(now monotime.Micros) {
+	v.heldUntil = 0
+	v.roundOpen = false
+	v.nextRoundAt = now + v.settings.voteDuration()
+	v.releaseVotes(now)
+}
+
+// Receive handles a message of a voter.
+func (v *Voter) Receive(now monotime.Micros, from string, m Message) {
+	if !slices.Contains(v.settings.Voters, from) {
+		return
+	}
+	switch m.Kind {
+	case VoteRequest:
+		v.handleVoteRequest(now, from, m)
+	case VoteReleased:
+		// It may overtake its VoteRequest. That is granted then, and the grant counts for nothing.
+		if v.vote.holder == from && v.vote.incarnation == m.Incarnation && v.vote.round == m.Round {
+			v.vote.expiresAt = 0
+		}
+	case VoteGranted, VoteDenied:
+		if v.roundOpen && m.Incarnation == v.settings.Incarnation && m.Round == v.round {
+			v.handleVoteReply(now, from, m)
+		}
+	}
+}
+
+// startRound requests the votes of all voters, unless this voter's own vote shows that another holds the lease.
 func (v *Voter) startRound(now monotime.Micros) {
-	if _, _, holds := v.HeldTerm(now); !holds && v.vote.expiresAt > now && v.vote.holder != v.settings.Self {
-		v.nextRoundAt = v.vote.expiresAt + v.randomDelay() // our own vote tells that there is a holder
+	if !v.holds(now) && v.vote.expiresAt > now && v.vote.holder != v.settings.Self {
+		v.nextRoundAt = v.vote.expiresAt + v.randomDelay()
 		return
 	}
 	v.round++
-	v.requestedAt, v.roundOpen, v.grantedBy = now, true, v.grantedBy[:0]
-	for _, name := range v.settings.Voters {
-		v.send(now, name, Message{Kind: VoteRequest, Incarnation: v.settings.Incarnation, Round: v.round})
-	}
+	v.requestedAt = now
+	v.roundOpen = true
+	v.grantedBy = v.grantedBy[:0]
+	v.broadcast(now, VoteRequest)
 }
 
-// giveUp leaves a question without a majority. Votes that were given for it must not wait for their end.
+// abandonRound ends a round without a majority.
 func (v *Voter) abandonRound(now monotime.Micros) {
 	v.roundOpen = false
 	v.nextRoundAt = now + v.randomDelay()
-	if _, _, holds := v.HeldTerm(now); !holds {
+	if !v.holds(now) {
 		v.releaseVotes(now)
 	}
 }
 
-func (v *Voter) releaseVotes(now monotime.Micros) {
+// releaseVotes frees the votes of the latest round, so that nobody has to wait until they expire.
+func (v *Voter) releaseVotes(now monotime.Micros) { v.broadcast(now, VoteReleased) }
+
+// broadcast sends a message of the latest round to all voters.
+func (v *Voter) broadcast(now monotime.Micros, kind MessageKind) {
 	for _, name := range v.settings.Voters {
-		v.send(now, name, Message{Kind: VoteReleased, Incarnation: v.settings.Incarnation, Round: v.round})
+		v.send(now, name, Message{Kind: kind, Incarnation: v.settings.Incarnation, Round: v.round})
 	}
 }
 
-// Resign lets the lease go, if it is held: its process is about to end.
-func (v *Voter) Resign(now monotime.Micros) {
-	v.heldUntil, v.roundOpen = 0, false
-	v.nextRoundAt = now + ExtendForDrift(v.settings.Duration, v.settings.MaxClockDrift)
-	v.releaseVotes(now)
-}
-
-func (v *Voter) send(now monotime.Micros, to string, w Message) {
+// send queues a message; one to the voter itself is handled at once.
+func (v *Voter) send(now monotime.Micros, to string, m Message) {
 	if to == v.settings.Self {
-		v.Receive(now, to, w)
+		v.Receive(now, to, m)
 		return
 	}
-	v.outgoing = append(v.outgoing, Outgoing{to, w})
+	v.outgoing = append(v.outgoing, Outgoing{to, m})
 }
 
-// Hear takes a voter's word in.
-func (v *Voter) Receive(now monotime.Micros, from string, w Message) {
-	if !slices.Contains(v.settings.Voters, from) {
-		return
-	}
-	switch w.Kind {
-	case VoteRequest:
-		v.handleVoteRequest(now, from, w)
-	case VoteReleased:
-		// It may come before the question does: then that is answered, and the answer counts for nothing.
-		if v.vote.holder == from && v.vote.incarnation == w.Incarnation && v.vote.round == w.Round {
-			v.vote.expiresAt = 0
-		}
-	case VoteGranted, VoteDenied:
-		if v.roundOpen && w.Incarnation == v.settings.Incarnation && w.Round == v.round {
-			v.handleVoteReply(now, from, w)
-		}
-	}
-}
-
-// asked gives the vote, or says whose it is.
-func (v *Voter) handleVoteRequest(now monotime.Micros, from string, w Message) {
-	answer := Message{Kind: VoteDenied, Incarnation: w.Incarnation, Round: w.Round}
-	own := v.vote.holder == from && v.vote.incarnation == w.Incarnation
+// handleVoteRequest grants the vote, or answers who has it.
+func (v *Voter) handleVoteRequest(now monotime.Micros, from string, m Message) {
+	reply := Message{Kind: VoteDenied, Incarnation: m.Incarnation, Round: m.Round}
+	hasVote := v.vote.holder == from && v.vote.incarnation == m.Incarnation
 	switch {
-	case own && w.Round < v.vote.round:
-		return // a question that was followed by others
+	case hasVote && m.Round < v.vote.round:
+		return // a request of an earlier round, which is over
 	case now < v.votesFrom:
-		answer.Remaining = v.votesFrom - now
-	case !own && now < v.vote.expiresAt:
-		answer.Holder, answer.Remaining = v.vote.holder, v.vote.expiresAt-now
+		reply.Remaining = v.votesFrom - now
+	case !hasVote && now < v.vote.expiresAt:
+		reply.Holder = v.vote.holder
+		reply.Remaining = v.vote.expiresAt - now
 	default:
-		answer.Kind = VoteGranted
-		v.vote = vote{from, w.Incarnation, w.Round, now + ExtendForDrift(v.settings.Duration, v.settings.MaxClockDrift)}
+		reply.Kind = VoteGranted
+		v.vote = vote{from, m.Incarnation, m.Round, now + v.settings.voteDuration()}
 	}
-	v.send(now, from, answer)
+	v.send(now, from, reply)
 }
 
-// answered counts a vote for the question that is open.
-func (v *Voter) handleVoteReply(now monotime.Micros, from string, w Message) {
-	if w.Kind == VoteDenied {
-		// Who holds it goes on to hold it, most likely: there is no use in asking much sooner.
-		if _, _, holds := v.HeldTerm(now); !holds && w.Holder != "" && w.Holder != v.settings.Self {
-			v.roundOpen = false
-			v.releaseVotes(now)
-			v.nextRoundAt = now + w.Remaining + v.randomDelay()
-		}
+// handleVoteReply handles an answer in the open round.
+func (v *Voter) handleVoteReply(now monotime.Micros, from string, m Message) {
+	if m.Kind == VoteDenied {
+		v.handleVoteDenied(now, m)
 		return
 	}
 	if slices.Contains(v.grantedBy, from) {
@@ -193,9 +219,20 @@
 		v.nextRoundAt = now
 		return
 	}
-	if _, _, holds := v.HeldTerm(now); !holds {
+	if !v.holds(now) {
 		v.term = Term{v.settings.Self, v.settings.Incarnation, v.round}
 	}
 	v.heldUntil = v.requestedAt + v.settings.Duration
 	v.nextRoundAt = max(now, v.requestedAt+v.settings.Duration/4)
 }
+
+// handleVoteDenied ends the round if another candidate has the vote: most likely that goes on to hold the lease, and
+// requests before the vote expires would be in vain.
+func (v *Voter) handleVoteDenied(now monotime.Micros, m Message) {
+	if v.holds(now) || m.Holder == "" || m.Holder == v.settings.Self {
+		return
+	}
+	v.roundOpen = false
+	v.releaseVotes(now)
+	v.nextRoundAt = now + m.Remaining + v.randomDelay()
+}
