--- a/internal/decide/quota/commitment.go
+++ b/internal/decide/quota/commitment.go
@@ -1,72 +1,89 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"dunlinsail/internal/monotime"
 )
 
-// who is a holder: another life of a name is another holder, and what the one before had is not over with it.
+// lesseeID identifies a lessee's process. Another incarnation of a name is another lessee: what the one before had
+// leased does not end with it.
 type lesseeID struct {
 	name        string
 	incarnation uint64
 }
 
-// borrower is a holder, as the book knows it.
+// lesseeRecord is what the allocator knows of a lessee.
 type lesseeRecord struct {
 	lesseeID
-	lastSequence  uint64 // of its latest question
+	lastSequence  uint64 // of its latest request
 	lastRequestAt monotime.Micros
-	demands       map[string]Demand
-	targets       map[string]int
-	committed     map[string]int // as it stands in the budgets' lent
+	demands       map[string]Demand // by budget, as of its latest request
+	targets       map[string]int    // by budget: units that it gets once others have returned them
+	committed     map[string]int    // by budget: its part of budget.committed
 	commitments   []commitment
 }
 
-// entry is units that are taken for used until an instant.
+// commitment is units that a lessee may spend until the commitment expires.
 type commitment struct {
-	serial    uint64 // 0 is of a loan that the book did not give itself
+	serial    uint64 // of the lease; 0 is one that an allocator before this one granted
 	units     map[string]int
 	expiresAt monotime.Micros
 }
 
-// count brings a holder's part of what is lent up to date.
-func (b *Allocator) recountCommitted(now monotime.Micros, x *lesseeRecord) {
-	for _, name := range b.budgetNames {
-		n := x.committedUnits(now, name)
-		b.budgets[name].committed += n - x.committed[name]
-		x.committed[name] = n
+// lessee returns the record of a lessee, a new one if there is none.
+func (b *Allocator) lessee(id lesseeID) *lesseeRecord {
+	if x := b.lessees[id]; x != nil {
+		return x
 	}
+	x := &lesseeRecord{lesseeID: id, targets: map[string]int{}, committed: map[string]int{}}
+	b.lessees[id] = x
+	b.sortedLessees = append(b.sortedLessees, x)
+	slices.SortFunc(b.sortedLessees, func(p, q *lesseeRecord) int {
+		return cmp.Or(
+			strings.Compare(p.name, q.name),
+			cmp.Compare(float64(p.incarnation), float64(q.incarnation)),
+		)
+	})
+	b.dirty = true
+	return x
 }
 
-// shown takes in what loan a holder shows to be in force: earlier ones are over a second later.
-func (b *Allocator) applyHeldLease(now monotime.Micros, x *lesseeRecord, a *LeaseRequest) {
-	if a.HeldSerial == 0 {
-		return // perhaps it has heard of none yet: what it was given ends by itself
+// applyHeldLease takes in which lease a lessee shows to be in force. Earlier ones can be spent of no more.
+func (b *Allocator) applyHeldLease(now monotime.Micros, x *lesseeRecord, r *LeaseRequest) {
+	if r.HeldSerial == 0 {
+		return // it may not have received any yet: what it was granted expires
 	}
-	if a.HeldTerm != b.term {
-		if now >= b.recoveringUntil {
-			return // it was over before this question came
-		}
-		held := commitment{units: map[string]int{}, expiresAt: now + b.settings.leaseLifetime() + b.settings.window()}
-		for _, w := range x.demands {
-			held.units[w.Budget] = w.Held
-		}
-		x.commitments = slices.DeleteFunc(x.commitments, func(e commitment) bool { return e.serial == 0 })
-		x.commitments = append(x.commitments, held)
+	if r.HeldTerm != b.term {
+		b.applyEarlierTerm(now, x)
 		return
 	}
 	for i := range x.commitments {
-		if e := &x.commitments[i]; e.serial < a.HeldSerial {
-			e.expiresAt = min(e.expiresAt, now+b.settings.window())
+		if c := &x.commitments[i]; c.serial < r.HeldSerial {
+			c.expiresAt = min(c.expiresAt, now+b.settings.window())
 		}
 	}
 }
 
-// forget forgets what is over.
+// applyEarlierTerm commits what a lessee shows to hold by a lease of an allocator before this one.
+func (b *Allocator) applyEarlierTerm(now monotime.Micros, x *lesseeRecord) {
+	if now >= b.recoveringUntil {
+		return // the lease expired before the request arrived
+	}
+	held := commitment{units: map[string]int{}, expiresAt: b.commitmentEnd(now)}
+	for _, d := range x.demands {
+		held.units[d.Budget] = d.Held
+	}
+	x.commitments = slices.DeleteFunc(x.commitments, func(c commitment) bool { return c.serial == 0 })
+	x.commitments = append(x.commitments, held)
+}
+
+// dropExpired removes expired commitments, and lessees that have none and are silent.
 func (b *Allocator) dropExpired(now monotime.Micros) {
 	b.sortedLessees = slices.DeleteFunc(b.sortedLessees, func(x *lesseeRecord) bool {
-		x.commitments = slices.DeleteFunc(x.commitments, func(e commitment) bool { return now >= e.expiresAt })
+		x.commitments = slices.DeleteFunc(x.commitments, func(c commitment) bool { return now >= c.expiresAt })
 		gone := len(x.commitments) == 0 && now-x.lastRequestAt > b.settings.leaseLifetime()
 		if gone {
 			b.recountCommitted(now, x)
@@ -77,12 +94,40 @@
 	})
 }
 
-// used is what of a budget is taken for used by a holder.
+// recountCommitted brings a lessee's part of budget.committed up to date.
+func (b *Allocator) recountCommitted(now monotime.Micros, x *lesseeRecord) {
+	for _, name := range b.budgetNames {
+		n := x.committedUnits(now, name)
+		b.budgets[name].committed += n - x.committed[name]
+		x.committed[name] = n
+	}
+}
+
+// committedUnits returns how many units of a budget the lessee may be spending within a second.
 func (x *lesseeRecord) committedUnits(now monotime.Micros, name string) (n int) {
 	for i := range x.commitments {
-		if e := &x.commitments[i]; now < e.expiresAt {
-			n = max(n, e.units[name])
+		if c := &x.commitments[i]; now < c.expiresAt {
+			n = max(n, c.units[name])
 		}
 	}
 	return n
 }
+
+// status returns what the lessee has of a budget.
+func (x *lesseeRecord) status(now monotime.Micros, name string) LeaseStatus {
+	l := LeaseStatus{
+		Lessee:        x.name,
+		Incarnation:   x.incarnation,
+		Budget:        name,
+		Units:         x.committedUnits(now, name),
+		Target:        x.targets[name],
+		Requested:     x.demands[name].Requested,
+		LastRequestAt: x.lastRequestAt,
+	}
+	for _, c := range x.commitments {
+		if c.units[name] > 0 {
+			l.Until = max(l.Until, c.expiresAt)
+		}
+	}
+	return l
+}
--- a/internal/decide/quota/divide.go
+++ b/internal/decide/quota/divide.go
@@ -9,92 +9,135 @@
 	"dunlinsail/internal/monotime"
 )
 
-// silent is after how many periods without a question a holder is taken to want nothing. What it was lent is its own until that
-// has ended.
-const silentIntervals = 3
+const (
+	// silentIntervals is after how many request intervals without a request a lessee is taken to have no demand. What
+	// it was leased remains its own until the lease expires.
+	silentIntervals = 3
+	// rotationPeriod is for how long the same lessees come first where there is less than a unit for each.
+	rotationPeriod = 4 * second
+	// minUtilization is the fraction of its units that a lessee must use for its whole demand to be believed.
+	minUtilization = 0.7
+)
+
+// claim is what a lessee gets considered for when a budget is divided.
+type claim struct {
+	lessee *lesseeRecord
+	units  int    // that it gets if there are enough
+	rank   uint64 // random for a rotationPeriod; the lower comes first
+}
 
-// divide decides anew what each holder is to have of each budget: by max-min over what they want (Bertsekas and Gallager,
-// "Data Networks", 6.5.2), in whole units. Where not all can have what they want, a holder that does not use what it has
-// counts for no more than twice that: one that asks for everything gets what fairness gives.
+// divide sets the targets of all lessees: each budget is divided by max-min fairness over the demands (Bertsekas and
+// Gallager, "Data Networks", 6.5.2), in whole units.
 func (b *Allocator) divide(now monotime.Micros) {
-	b.dividedAt, b.dirty = now, false
-	var heard []*lesseeRecord
+	b.dividedAt = now
+	b.dirty = false
+	var active []*lesseeRecord
 	for _, x := range b.sortedLessees {
 		clear(x.targets)
 		b.recountCommitted(now, x)
 		if now-x.lastRequestAt <= silentIntervals*b.settings.RequestInterval {
-			heard = append(heard, x)
+			active = append(active, x)
 		}
 	}
-	for k, name := range b.budgetNames {
-		budget := b.budgets[name]
-		if budget.contributed {
-			budget.units = 0
-			for _, x := range heard {
-				budget.units += x.demands[name].Contributed
-			}
-			budget.units = min(budget.units, budget.ceiling)
-		}
-		if len(heard) > 0 {
-			b.divideBudget(now, name, uint64(k), heard)
+	for i, name := range b.budgetNames {
+		b.budgets[name].sumContributions(name, active)
+		if len(active) > 0 {
+			b.divideBudget(now, name, uint64(i), active)
 		}
 	}
 }
 
-// turn is for how long the same holders come first where there is less than a unit for each.
-const rotationPeriod = 4 * second
+// sumContributions sets the units of a contributed budget to what its lessees add up to.
+func (x *budget) sumContributions(name string, active []*lesseeRecord) {
+	if !x.contributed {
+		return
+	}
+	x.units = 0
+	for _, lessee := range active {
+		x.units += lessee.demands[name].Contributed
+	}
+	x.units = min(x.units, x.ceiling)
+}
 
-// split divides one budget.
-func (b *Allocator) divideBudget(now monotime.Micros, name string, seed uint64, heard []*lesseeRecord) {
-	left := b.leasableUnits(name)
-	if left <= 0 {
+// divideBudget sets the targets of one budget.
+func (b *Allocator) divideBudget(now monotime.Micros, name string, seed uint64, active []*lesseeRecord) {
+	units := b.leasableUnits(name)
+	if units <= 0 {
 		return
 	}
-	fair := float64(left) / float64(len(heard))
-	wants, total := make([]int, len(heard)), 0
-	order := make([]int, len(heard))
-	turns := make([]uint64, len(heard))
-	for i, x := range heard {
-		w := x.demands[name]
-		wants[i] = int(min(math.Ceil(w.Requested), float64(left)))
-		total += wants[i]
-		order[i] = i
+	claims := newClaims(now, name, seed, active, units)
+	left := assignFairly(claims, name, units)
+	left = assignRemainder(claims, name, left)
+	if left > 0 {
+		assignSpare(claims, name, left)
+	}
+}
+
+// newClaims returns the lessees' claims of a budget, in the lessees' order. Where not all can have what they demand, a
+// lessee that does not use what it has claims no more than twice what it uses or what is fair: one that demands
+// everything gets what fairness gives.
+func newClaims(now monotime.Micros, name string, seed uint64, active []*lesseeRecord, units int) []claim {
+	claims := make([]claim, len(active))
+	total := 0
+	for i, x := range active {
 		rotation := hash64.SplitMix(seed ^ uint64(now/rotationPeriod))
-		turns[i] = hash64.SplitMix(rotation ^ hash64.String(x.name))
+		claims[i] = claim{
+			lessee: x,
+			units:  int(min(math.Ceil(x.demands[name].Requested), float64(units))),
+			rank:   hash64.SplitMix(rotation ^ hash64.String(x.name)),
+		}
+		total += claims[i].units
+	}
+	if total <= units {
+		return claims
 	}
-	if total > left {
-		for i, x := range heard {
-			if w := x.demands[name]; w.Used < minUtilization*float64(w.Held) {
-				wants[i] = min(wants[i], int(math.Ceil(math.Max(fair, 2*w.Used))))
-			}
+	fairShare := float64(units) / float64(len(active))
+	for i, x := range active {
+		if d := x.demands[name]; d.Used < minUtilization*float64(d.Held) {
+			claims[i].units = min(claims[i].units, int(math.Ceil(math.Max(fairShare, 2*d.Used))))
 		}
 	}
-	// The least wants first: each gets what it wants as long as that is within an equal part of what is left.
-	slices.SortFunc(order, func(a, c int) int { return cmp.Or(cmp.Compare(wants[a], wants[c]), cmp.Compare(turns[a], turns[c])) })
-	for i, at := range order {
-		n := min(wants[at], left/(len(order)-i))
-		heard[at].targets[name] = n
+	return claims
+}
+
+// assignFairly sorts the claims, the smallest first, gives each its units as long as these are within an equal part of
+// what is left, and returns what is left then.
+func assignFairly(claims []claim, name string, units int) (left int) {
+	left = units
+	slices.SortFunc(claims, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(a.units, b.units), cmp.Compare(a.rank, b.rank))
+	})
+	for i, c := range claims {
+		n := min(c.units, left/(len(claims)-i))
+		c.lessee.targets[name] = n
 		left -= n
 	}
-	// Units that no equal part could have are given in turn.
-	for _, at := range order {
+	return left
+}
+
+// assignRemainder gives one unit more to claims that are not met, as long as there are any, and returns what is left.
+func assignRemainder(claims []claim, name string, units int) (left int) {
+	left = units
+	for _, c := range claims {
 		if left == 0 {
-			return
+			return 0
 		}
-		if x := heard[at]; x.targets[name] < wants[at] {
-			x.targets[name]++
+		if c.lessee.targets[name] < c.units {
+			c.lessee.targets[name]++
 			left--
 		}
 	}
-	// What nobody wants now is lent all the same, for what comes before the next question; a part of it is kept for who asks next.
-	spare := left - left/4
-	slices.SortFunc(order, func(a, c int) int { return cmp.Compare(turns[a], turns[c]) })
-	for i, at := range order {
-		n := spare / (len(order) - i)
-		heard[at].targets[name] += n
+	return left
+}
+
+// assignSpare divides what nobody demands now, so that demand before the next request is met. A quarter is held back
+// for whoever asks next.
+func assignSpare(claims []claim, name string, units int) {
+	spare := units - units/4
+	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(a.rank, b.rank) })
+	for i, c := range claims {
+		n := spare / (len(claims) - i)
+		c.lessee.targets[name] += n
 		spare -= n
 	}
 }
-
-// spends is the part of what it holds that a holder must use to be taken at its word that it wants more.
-const minUtilization = 0.7
--- a/internal/decide/quota/golden_test.go
+++ b/internal/decide/quota/golden_test.go
@@ -11,12 +11,17 @@
 	"dunlinsail/internal/monotime"
 )
 
-// goldenState is what testdata/state.json holds. The file was written before the types had tags, and never changes: it is part
-// of what a process hands to its successor, which may be of another build.
+// goldenState is what testdata/state.json holds. The file was written before the types had tags, and never changes:
+// it is part of what a process hands to its successor, which may be of another build.
 func goldenState() *State {
 	return &State{
-		Incarnation: 0xfedcba9876543210, Sequence: 23, Term: lease.Term{Holder: "instance-1", Incarnation: 9, Round: 17}, HeldSerial: 5,
-		HeldTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2}, Remaining: 1_234_567, Age: 77_000_000,
+		Incarnation: 0xfedcba9876543210,
+		Sequence:    23,
+		Term:        lease.Term{Holder: "instance-1", Incarnation: 9, Round: 17},
+		HeldSerial:  5,
+		HeldTerm:    lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2},
+		Remaining:   1_234_567,
+		Age:         77_000_000,
 		Buckets: []BucketState{
 			{Budget: "further", Leased: 40},
 			{Budget: "tenant/one", Leased: 1, Spent: []monotime.Micros{999_999, 500_000, 1}},
--- a/internal/decide/quota/lessee.go
+++ b/internal/decide/quota/lessee.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -8,42 +9,44 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Holder spends what an instance may. Make one with NewHolder; it spends nothing before Begin or Restore.
+// Lessee decides what one instance may spend. Create one with NewLessee; it spends nothing before Start or Restore.
+// It is not safe for concurrent use.
 type Lessee struct {
 	settings    Settings
 	incarnation uint64
-	startedAt   monotime.Micros // what another process of this name spent before it was is over a second later
-	active      bool            // it may spend: no other process has its place
+	startedAt   monotime.Micros
+	active      bool // this process may spend: it is started, and has not handed over to a successor
 	buckets     map[string]*bucket
 
-	sequence    uint64
-	sent        [maxSentRequests]sentRequest // when questions went out, by number
-	term        lease.Term                   // of the book, as told last
-	heldSerial  uint64                       // the loan in force
-	heldTerm    lease.Term
-	expiresAt   monotime.Micros // it ends
-	lastGrantAt monotime.Micros // when the latest answer came
+	sequence    uint64                       // of the latest request
+	sent        [maxSentRequests]sentRequest // ring of the latest requests, by sequence number
+	term        lease.Term                   // of the allocator, as far as is known; the zero value is not known
+	heldSerial  uint64                       // of the lease in force; 0 is none
+	heldTerm    lease.Term                   // of the allocator that granted it
+	expiresAt   monotime.Micros              // when the lease does
+	lastGrantAt monotime.Micros              // when the latest lease was received
 }
 
-// asksKept is how many questions may be unanswered before the oldest is forgotten.
+// maxSentRequests is how many requests may be unanswered before the oldest is forgotten.
 const maxSentRequests = 16
 
+// sentRequest is when a request was sent.
 type sentRequest struct {
 	sequence uint64
 	sentAt   monotime.Micros
 }
 
-// pot is what is known of one budget.
+// bucket is what may be spent of one budget, and what was.
 type bucket struct {
-	minimum     int
-	leased      int
-	spent       []monotime.Micros // instants of units within the last second, the oldest first
+	minimum     int               // units within any second without a lease
+	leased      int               // units within any second beside these while the lease is in force
+	spent       []monotime.Micros // instants of the units spent within the last second, the oldest first
 	demand      rateEstimator
 	usage       rateEstimator
-	contributed float64
+	contributed float64 // units a second
 }
 
-// NewHolder returns the holder of a process that has just started, or a *setting.Error.
+// NewLessee returns the lessee of a process that has just started, or a *setting.Error.
 func NewLessee(s Settings) (*Lessee, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
@@ -51,161 +54,196 @@
 	return &Lessee{settings: s, buckets: map[string]*bucket{}}, nil
 }
 
-// Begin has it begin, without a loan, as a process that no other is beside. Nobody knows what a process of its name that was
-// killed has spent a moment ago: for a second there is nothing.
-func (h *Lessee) Start(now monotime.Micros, life uint64) {
-	h.active, h.incarnation, h.startedAt, h.heldSerial, h.expiresAt = true, life, now, 0, 0
-	h.sent = [maxSentRequests]sentRequest{}
+// Start lets a process spend that takes no other's place. It has no lease, and for a second nothing at all, since
+// nobody knows what a killed process of its name spent just before.
+func (l *Lessee) Start(now monotime.Micros, incarnation uint64) {
+	l.active = true
+	l.incarnation = incarnation
+	l.startedAt = now
+	l.heldSerial = 0
+	l.expiresAt = 0
+	l.sent = [maxSentRequests]sentRequest{}
 }
 
-// Begun says whether it may spend.
-func (h *Lessee) Active() bool { return h.active }
+// Active reports whether this process may spend.
+func (l *Lessee) Active() bool { return l.active }
 
-// Budget says what units a second a budget has over all instances. Of one that is earned it is 0: nothing of it is held ready.
-func (h *Lessee) SetBudget(name string, units float64) {
-	p := h.buckets[name]
-	if p == nil {
-		p = &bucket{}
-		h.buckets[name] = p
+// SetBudget sets how many units a second all instances together may spend of a budget. It is 0 for a contributed
+// budget, of which nothing is reserved.
+func (l *Lessee) SetBudget(name string, units float64) {
+	x := l.buckets[name]
+	if x == nil {
+		x = &bucket{}
+		l.buckets[name] = x
 	}
-	p.minimum = h.settings.Minimum(units)
+	x.minimum = l.settings.Minimum(units)
 }
 
-// Forget forgets a budget.
-func (h *Lessee) RemoveBudget(name string) { delete(h.buckets, name) }
+// RemoveBudget removes a budget. Nothing of it may be spent any more.
+func (l *Lessee) RemoveBudget(name string) { delete(l.buckets, name) }
 
-// Earn says what units a second this instance adds to a budget that is earned.
-func (h *Lessee) SetContribution(name string, units float64) {
-	if p := h.buckets[name]; p != nil {
-		p.contributed = units
+// SetContribution sets how many units a second this instance adds to a contributed budget.
+func (l *Lessee) SetContribution(name string, units float64) {
+	if x := l.buckets[name]; x != nil {
+		x.contributed = units
 	}
 }
 
-// Allowed returns how many units may be spent within the second that ends now.
-func (h *Lessee) Allowed(now monotime.Micros, name string) int {
-	p := h.buckets[name]
-	if p == nil || !h.active {
+// Allowed returns how many units of a budget may be spent within the second that ends at now.
+func (l *Lessee) Allowed(now monotime.Micros, name string) int {
+	x := l.buckets[name]
+	if x == nil || !l.active {
 		return 0
 	}
 	n := 0
-	if now >= h.startedAt+h.settings.window() {
-		n = p.minimum
+	if now >= l.startedAt+l.settings.window() {
+		n = x.minimum
 	}
-	if now < h.expiresAt {
-		n += p.leased
+	if now < l.expiresAt {
+		n += x.leased
 	}
 	return n
 }
 
-// Left returns how many units may be spent at once.
-func (h *Lessee) Available(now monotime.Micros, name string) int {
-	p := h.buckets[name]
-	if p == nil {
+// Available returns how many units of a budget may be spent at now: those allowed that are not spent yet.
+func (l *Lessee) Available(now monotime.Micros, name string) int {
+	x := l.buckets[name]
+	if x == nil {
 		return 0
 	}
-	p.dropSpentBefore(now - h.settings.window())
-	return max(0, h.Allowed(now, name)-len(p.spent))
+	x.dropSpentBefore(now - l.settings.window())
+	return max(0, l.Allowed(now, name)-len(x.spent))
 }
 
-// slide forgets what was spent so long ago.
-func (p *bucket) dropSpentBefore(since monotime.Micros) {
-	n := 0
-	for n < len(p.spent) && p.spent[n] <= since {
-		n++
-	}
-	if n > 0 {
-		p.spent = append(p.spent[:0], p.spent[n:]...)
+// RecordDemand counts a unit that is needed, whether or not it is available.
+func (l *Lessee) RecordDemand(now monotime.Micros, name string) {
+	if x := l.buckets[name]; x != nil {
+		x.demand.add(now)
 	}
 }
 
-// Want notes that a unit is asked for, whether or not there is one.
-func (h *Lessee) RecordDemand(now monotime.Micros, name string) {
-	if p := h.buckets[name]; p != nil {
-		p.demand.add(now)
+// Spend spends a unit of a budget, and reports whether one was available.
+func (l *Lessee) Spend(now monotime.Micros, name string) bool {
+	if l.Available(now, name) == 0 {
+		return false
 	}
+	x := l.buckets[name]
+	x.spent = append(x.spent, now)
+	x.usage.add(now)
+	return true
 }
 
-// Take spends a unit, and says whether there was one.
-func (h *Lessee) Spend(now monotime.Micros, name string) bool {
-	if h.Available(now, name) == 0 {
-		return false
+// dropSpentBefore forgets units that were spent at an instant or before it.
+func (x *bucket) dropSpentBefore(instant monotime.Micros) {
+	n := 0
+	for n < len(x.spent) && x.spent[n] <= instant {
+		n++
+	}
+	if n > 0 {
+		x.spent = append(x.spent[:0], x.spent[n:]...)
 	}
-	p := h.buckets[name]
-	p.spent = append(p.spent, now)
-	p.usage.add(now)
-	return true
 }
 
-// Loan returns the loan in force: until when it is, who lent it and its serial; no if there is none.
-func (h *Lessee) HeldLease(now monotime.Micros) (until monotime.Micros, by lease.Term, serial uint64, yes bool) {
-	if !h.active || h.heldSerial == 0 || now >= h.expiresAt {
+// HeldLease returns when the lease in force ends, the term of the allocator that granted it and its serial. held is
+// false if there is none.
+func (l *Lessee) HeldLease(now monotime.Micros) (until monotime.Micros, by lease.Term, serial uint64, held bool) {
+	if !l.active || l.heldSerial == 0 || now >= l.expiresAt {
 		return 0, lease.Term{}, 0, false
 	}
-	return h.expiresAt, h.heldTerm, h.heldSerial, true
+	return l.expiresAt, l.heldTerm, l.heldSerial, true
 }
 
-// Book returns the term of the book as told last, and when it was heard from.
-func (h *Lessee) KnownAllocator() (lease.Term, monotime.Micros) { return h.term, h.lastGrantAt }
+// KnownAllocator returns the allocator's term as far as is known, and when the latest lease was received from one.
+func (l *Lessee) KnownAllocator() (t lease.Term, lastGrantAt monotime.Micros) {
+	return l.term, l.lastGrantAt
+}
+
+// ForgetAllocator forgets who the allocator is, so that the next request goes to all candidates.
+func (l *Lessee) ForgetAllocator() { l.term = lease.Term{} }
 
-// Ask returns a question that goes out now.
-func (h *Lessee) NewRequest(now monotime.Micros) LeaseRequest {
-	h.sequence++
-	h.sent[h.sequence%maxSentRequests] = sentRequest{h.sequence, now}
-	a := LeaseRequest{Incarnation: h.incarnation, Sequence: h.sequence, Term: h.term}
-	if _, _, _, lent := h.HeldLease(now); lent {
-		a.HeldSerial, a.HeldTerm = h.heldSerial, h.heldTerm
+// NewRequest returns a request that is sent at now.
+func (l *Lessee) NewRequest(now monotime.Micros) LeaseRequest {
+	l.sequence++
+	l.sent[l.sequence%maxSentRequests] = sentRequest{l.sequence, now}
+	r := LeaseRequest{Incarnation: l.incarnation, Sequence: l.sequence, Term: l.term}
+	if _, by, serial, held := l.HeldLease(now); held {
+		r.HeldSerial = serial
+		r.HeldTerm = by
 	}
-	for name, p := range h.buckets {
-		w := Demand{Budget: name, Requested: p.demand.demandRate(now), Used: p.usage.recentRate(now), Contributed: p.contributed}
-		if a.HeldSerial != 0 {
-			w.Held = p.leased
+	for name, x := range l.buckets {
+		d := Demand{
+			Budget:      name,
+			Requested:   x.demand.demandRate(now),
+			Used:        x.usage.recentRate(now),
+			Contributed: x.contributed,
 		}
-		a.Demands = append(a.Demands, w)
+		if r.HeldSerial != 0 {
+			d.Held = x.leased
+		}
+		r.Demands = append(r.Demands, d)
 	}
-	slices.SortFunc(a.Demands, func(a, b Demand) int { return strings.Compare(a.Budget, b.Budget) })
-	return a
+	slices.SortFunc(r.Demands, func(a, b Demand) int { return strings.Compare(a.Budget, b.Budget) })
+	return r
 }
 
-// Hear takes an answer in. It says whether a question should go out at once: the book is another than was asked, or has to
-// know that less is in force now.
-func (h *Lessee) HandleGrant(now monotime.Micros, g Grant) (again bool) {
-	q := h.sent[g.Sequence%maxSentRequests]
-	if g.Incarnation != h.incarnation || !h.active || q.sequence != g.Sequence || g.Sequence == 0 {
+// HandleGrant takes in the answer to a request. requestNow is true if the next request should be sent at once: because
+// the allocator is another than was asked, or because it should know that less is in force now.
+func (l *Lessee) HandleGrant(now monotime.Micros, g Grant) (requestNow bool) {
+	request := l.sent[g.Sequence%maxSentRequests]
+	if g.Incarnation != l.incarnation || !l.active || request.sequence != g.Sequence || g.Sequence == 0 {
 		return false
 	}
 	if g.Serial == 0 {
-		again = h.term != g.Term && g.Sequence == h.sequence
-		if again {
-			h.term = g.Term
-		}
-		return again
-	}
-	until := q.sentAt + min(g.Duration, h.settings.LeaseDuration)
-	if g.Term != h.term || g.Term == h.heldTerm && g.Serial <= h.heldSerial || until <= h.expiresAt && h.heldSerial != 0 || now >= until {
-		return false // an earlier one than what is in force, or over already
-	}
-	h.heldSerial, h.heldTerm, h.expiresAt, h.lastGrantAt = g.Serial, g.Term, until, now
-	for _, p := range h.buckets {
-		was := p.leased
-		p.leased = 0
-		for _, s := range g.Allocations {
-			if s.Units > 0 && h.buckets[s.Budget] == p {
-				p.leased = s.Units
-			}
-		}
-		again = again || p.leased < was
+		return l.learnAllocator(g)
+	}
+	until := request.sentAt + min(g.Duration, l.settings.LeaseDuration)
+	if !l.supersedes(g, until) || now >= until {
+		return false
 	}
-	return again
+	l.heldSerial = g.Serial
+	l.heldTerm = g.Term
+	l.expiresAt = until
+	l.lastGrantAt = now
+	return l.applyAllocations(g.Allocations)
 }
 
-// Lost forgets who the book is, so that all who could be it are asked.
-func (h *Lessee) ForgetAllocator() { h.term = lease.Term{} }
+// learnAllocator takes in the term of an allocator that granted no lease, if it answers the latest request, and reports
+// whether that is news.
+func (l *Lessee) learnAllocator(g Grant) bool {
+	if l.term == g.Term || g.Sequence != l.sequence {
+		return false
+	}
+	l.term = g.Term
+	return true
+}
 
-// Names returns the budgets that the holder knows, in order.
-func (h *Lessee) BudgetNames() (all []string) {
-	for name := range h.buckets {
-		all = append(all, name)
+// supersedes reports whether a lease that ends at until takes the place of the one in force.
+func (l *Lessee) supersedes(g Grant, until monotime.Micros) bool {
+	switch {
+	case g.Term != l.term:
+		return false // of an allocator that is none any more
+	case g.Term == l.heldTerm && g.Serial <= l.heldSerial:
+		return false // an earlier lease
+	case l.heldSerial != 0 && until <= l.expiresAt:
+		return false // the answer to an earlier request
 	}
-	slices.Sort(all)
-	return all
+	return true
 }
+
+// applyAllocations sets what the new lease gives of each budget, and reports whether that is less of any.
+func (l *Lessee) applyAllocations(allocations []Allocation) (reduced bool) {
+	for name, x := range l.buckets {
+		before := x.leased
+		x.leased = 0
+		for _, a := range allocations {
+			if a.Units > 0 && a.Budget == name {
+				x.leased = a.Units
+			}
+		}
+		reduced = reduced || x.leased < before
+	}
+	return reduced
+}
+
+// BudgetNames returns the names of all budgets, sorted.
+func (l *Lessee) BudgetNames() []string { return slices.Sorted(maps.Keys(l.buckets)) }
--- a/internal/decide/quota/rate.go
+++ b/internal/decide/quota/rate.go
@@ -6,29 +6,22 @@
 	"dunlinsail/internal/monotime"
 )
 
-// counter counts what came within the last second, by tenths, and over some seconds.
-type rateEstimator struct {
-	tenths       [10]int
-	latestTenth  monotime.Micros
-	decayedCount float64 // what came, each counting less the longer it is ago
-	decayedAt    monotime.Micros
-}
-
-// slowly is over how long the slow mean goes.
+// decayTime is the time constant of the long-term mean.
 const decayTime = 2 * second
 
-func (c *rateEstimator) advance(now monotime.Micros) {
-	part := now / (second / 10)
-	if part-c.latestTenth >= 10 {
-		clear(c.tenths[:])
-		c.latestTenth = part
-	}
-	for c.latestTenth < part {
-		c.latestTenth++
-		c.tenths[c.latestTenth%10] = 0
-	}
+// tenth is the resolution of the counts within the last second.
+const tenth = second / 10
+
+// rateEstimator counts events within the last second, by tenths of it, and with exponential decay beyond. The zero
+// value has counted nothing.
+type rateEstimator struct {
+	tenths       [10]int         // ring of counts, by the number of the tenth since the clock's origin
+	latestTenth  monotime.Micros // number of the latest one
+	decayedCount float64         // as of decayedAt
+	decayedAt    monotime.Micros
 }
 
+// add counts an event.
 func (c *rateEstimator) add(now monotime.Micros) {
 	c.advance(now)
 	c.tenths[c.latestTenth%10]++
@@ -36,24 +29,21 @@
 	c.decayedCount++
 }
 
-func (c *rateEstimator) decay(now monotime.Micros) {
-	c.decayedCount *= math.Exp(-float64(now-c.decayedAt) / float64(decayTime))
-	c.decayedAt = now
-}
-
-// wanted is how many units a second are worth having: the mean of some seconds and what chance adds to that, since a second in which
-// fewer are asked for says nothing of the next; or the rate of late, where that is beyond chance.
+// demandRate returns the demand in units a second: the long-term mean and a standard deviation of chance beside it,
+// since a second with fewer events says nothing about the next one; or the recent rate where that differs by more than
+// chance explains.
 func (c *rateEstimator) demandRate(now monotime.Micros) float64 {
 	c.decay(now)
 	mean := c.decayedCount * float64(second) / float64(decayTime)
-	fast := c.recentRate(now)
-	if fast > mean+3*math.Sqrt(mean)+1 {
-		return fast
+	recent := c.recentRate(now)
+	if recent > mean+3*math.Sqrt(mean)+1 {
+		return recent
 	}
 	for _, tenths := range [...]int{5, 10} {
-		of, late := mean*float64(tenths)/10, float64(c.countLatest(tenths))
-		if late < of-2*math.Sqrt(of)-1 {
-			mean = late * 10 / float64(tenths) // what was before is over
+		expected := mean * float64(tenths) / 10
+		counted := float64(c.countLatest(tenths))
+		if counted < expected-2*math.Sqrt(expected)-1 {
+			mean = counted * 10 / float64(tenths) // demand has fallen: forget what was before
 			c.decayedCount = mean * float64(decayTime) / float64(second)
 			break
 		}
@@ -61,18 +51,36 @@
 	return mean + math.Sqrt(mean)
 }
 
-// latest is what came within so many of the latest tenths of a second, the present one included.
-func (c *rateEstimator) countLatest(tenths int) (all int) {
+// recentRate returns events a second by the last second, or by the last 0.3 s where that gives more, since rising
+// demand is to be met before a second has passed.
+func (c *rateEstimator) recentRate(now monotime.Micros) float64 {
+	c.advance(now)
+	elapsed := float64(now%tenth) / float64(tenth) // fraction of the present tenth
+	return math.Max(float64(c.countLatest(10)), float64(c.countLatest(3))/(0.2+0.1*elapsed))
+}
+
+// countLatest returns the events within so many of the latest tenths of a second, the present one included.
+func (c *rateEstimator) countLatest(tenths int) (n int) {
 	for i := range monotime.Micros(tenths) {
-		all += c.tenths[(c.latestTenth-i+10)%10]
+		n += c.tenths[(c.latestTenth-i+10)%10]
 	}
-	return all
+	return n
 }
 
-// rate is what comes a second: by the last second, or by the last third of it where that had more, since what rises is wanted
-// before a second is over.
-func (c *rateEstimator) recentRate(now monotime.Micros) float64 {
-	c.advance(now)
-	part := float64(now%(second/10)) / float64(second/10) // of the present tenth that is over
-	return math.Max(float64(c.countLatest(10)), float64(c.countLatest(3))/(0.2+0.1*part))
+// advance clears the tenths that have begun since it was called last.
+func (c *rateEstimator) advance(now monotime.Micros) {
+	present := now / tenth
+	if present-c.latestTenth >= 10 {
+		clear(c.tenths[:])
+		c.latestTenth = present
+	}
+	for c.latestTenth < present {
+		c.latestTenth++
+		c.tenths[c.latestTenth%10] = 0
+	}
+}
+
+func (c *rateEstimator) decay(now monotime.Micros) {
+	c.decayedCount *= math.Exp(-float64(now-c.decayedAt) / float64(decayTime))
+	c.decayedAt = now
 }
--- a/internal/decide/quota/state.go
+++ b/internal/decide/quota/state.go
@@ -8,63 +8,77 @@
 	"dunlinsail/internal/monotime"
 )
 
-// ---- One process in another's place -----------------------------------------
-
-// State is what a process that takes another's place has to know, with ages in place of instants.
+// State is what a process hands over to its successor in a hot restart. It holds ages in place of instants, since the
+// two may have different clocks. Its tags are the names in the takeover snapshot, which all builds share.
 type State struct {
 	Incarnation uint64          `json:"Life"`
-	Sequence    uint64          `json:"Number"`
-	Term        lease.Term      `json:"Term"`
-	HeldSerial  uint64          `json:"Of"`
-	HeldTerm    lease.Term      `json:"OfTerm"`
-	Remaining   monotime.Micros `json:"Left"` // of the loan in force
-	Age         monotime.Micros `json:"Age"`  // of the process
-	Buckets     []BucketState   `json:"Pots"`
+	Sequence    uint64          `json:"Number"` // of the latest request
+	Term        lease.Term      `json:"Term"`   // of the allocator, as far as is known
+	HeldSerial  uint64          `json:"Of"`     // of the lease in force; 0 is none
+	HeldTerm    lease.Term      `json:"OfTerm"` // of the allocator that granted it
+	Remaining   monotime.Micros `json:"Left"`   // of the lease in force
+	Age         monotime.Micros `json:"Age"`    // of the process
+	Buckets     []BucketState   `json:"Pots"`   // by budget
 }
 
-// PotState is what was lent and spent of one budget.
+// BucketState is what was leased and spent of one budget.
 type BucketState struct {
 	Budget string            `json:"Budget"`
 	Leased int               `json:"Lent"`
-	Spent  []monotime.Micros `json:"Spent"` // how long ago, of each unit of the last second
+	Spent  []monotime.Micros `json:"Spent"` // age of each unit that was spent within the last second
 }
 
-// State returns what the holder holds.
-func (h *Lessee) State(now monotime.Micros) *State {
-	s := &State{Incarnation: h.incarnation, Sequence: h.sequence, Term: h.term, HeldSerial: h.heldSerial, HeldTerm: h.heldTerm, Remaining: max(0, h.expiresAt-now), Age: now - h.startedAt}
-	for name, p := range h.buckets {
-		p.dropSpentBefore(now - h.settings.window())
-		c := BucketState{Budget: name, Leased: p.leased}
-		for _, at := range p.spent {
-			c.Spent = append(c.Spent, now-at)
+// State returns the lessee's state as of now.
+func (l *Lessee) State(now monotime.Micros) *State {
+	s := &State{
+		Incarnation: l.incarnation,
+		Sequence:    l.sequence,
+		Term:        l.term,
+		HeldSerial:  l.heldSerial,
+		HeldTerm:    l.heldTerm,
+		Remaining:   max(0, l.expiresAt-now),
+		Age:         now - l.startedAt,
+	}
+	for name, x := range l.buckets {
+		x.dropSpentBefore(now - l.settings.window())
+		b := BucketState{Budget: name, Leased: x.leased}
+		for _, at := range x.spent {
+			b.Spent = append(b.Spent, now-at)
 		}
-		s.Buckets = append(s.Buckets, c)
+		s.Buckets = append(s.Buckets, b)
 	}
 	slices.SortFunc(s.Buckets, func(a, b BucketState) int { return strings.Compare(a.Budget, b.Budget) })
 	return s
 }
 
-// Give leaves all to the process that takes this one's place, and returns what that has to know: from now on nothing is spent
-// here. Should nobody take it, Begin with another life goes on.
-func (h *Lessee) HandOver(now monotime.Micros) *State {
-	s := h.State(now)
-	h.active = false
+// HandOver returns the state for a successor, and spends nothing from now on. If no successor takes it, Start with
+// another incarnation goes on.
+func (l *Lessee) HandOver(now monotime.Micros) *State {
+	s := l.State(now)
+	l.active = false
 	return s
 }
 
-// Restore goes on as another process has left off so long ago.
-func (h *Lessee) Restore(now, age monotime.Micros, s *State) {
+// Restore goes on where a predecessor left off, whose state is of the given age.
+func (l *Lessee) Restore(now, age monotime.Micros, s *State) {
 	age = max(0, age)
-	h.active, h.incarnation, h.sequence, h.term, h.heldSerial, h.heldTerm = true, s.Incarnation, s.Sequence, s.Term, s.HeldSerial, s.HeldTerm
-	h.expiresAt, h.startedAt = now+s.Remaining-age, now-age-s.Age
-	for _, c := range s.Buckets {
-		p := h.buckets[c.Budget]
-		if p == nil {
-			continue // the budget is not this process's: nobody spends what was lent of it
+	l.active = true
+	l.incarnation = s.Incarnation
+	l.sequence = s.Sequence
+	l.term = s.Term
+	l.heldSerial = s.HeldSerial
+	l.heldTerm = s.HeldTerm
+	l.expiresAt = now + s.Remaining - age
+	l.startedAt = now - age - s.Age
+	for _, b := range s.Buckets {
+		x := l.buckets[b.Budget]
+		if x == nil {
+			continue // not a budget of this process: nobody spends what was leased of it
 		}
-		p.leased, p.spent = c.Leased, p.spent[:0]
-		for _, ago := range c.Spent {
-			p.spent = append(p.spent, now-age-ago)
+		x.leased = b.Leased
+		x.spent = x.spent[:0]
+		for _, ago := range b.Spent {
+			x.spent = append(x.spent, now-age-ago)
 		}
 	}
 }
