Document and shorten package observations

The package comment says what an aggregate is and is not. Levels, medians, totals by endpoint and suspicion are functions of their own, with the sums in the same order, and limits are named constants with a reason each.

--- a/internal/decide/observations/aggregator.go
+++ b/internal/decide/observations/aggregator.go
@@ -7,125 +7,144 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Sum is what all have seen. Make one with NewSum.
+const (
+	// maxCount bounds a count in a report: no instance makes so many attempts at an endpoint in so short a time.
+	maxCount = 1e7
+	// reportLifetime is for how long a member's report counts: one that has died must not be counted on.
+	reportLifetime = 2 * second
+	// maxMedianWeight is how many times the median of the members' requests a member counts for at most: one that gets
+	// more, or says so, must not decide for all.
+	maxMedianWeight = 4
+	// minMembersForMedian is the fewest members whose requests have a median.
+	minMembersForMedian = 3
+)
+
+// Aggregator adds up what members report. Create one with NewAggregator.
 type Aggregator struct {
-	reports map[string]*memberReport  // by member
-	totals  map[string]*requestTotals // by set of endpoints, since All was called last
+	reports map[string]*memberReport  // the latest of each member, by its name
+	totals  map[string]*requestTotals // by set of endpoints, since the aggregate before
 }
 
-// flow is what came and went in vain.
-type requestTotals struct{ requests, failed float64 }
-
+// memberReport is what a member reported last.
 type memberReport struct {
 	Observations
 	receivedAt monotime.Micros
 }
 
-// NewSum returns one that has heard nobody.
+// requestTotals are the weighted sums of OverloadLevel.Requests and Failed.
+type requestTotals struct {
+	requests float64
+	failed   float64
+}
+
+// NewAggregator returns an aggregator without reports.
 func NewAggregator() *Aggregator {
 	return &Aggregator{reports: map[string]*memberReport{}, totals: map[string]*requestTotals{}}
 }
 
-// Hear takes in what a member has seen, in place of what it said before. What makes no sense is passed over.
-func (s *Aggregator) Receive(now monotime.Micros, member string, seen Observations) {
-	good := func(v, most float64) bool { return v >= 0 && v <= most }
-	seen.Outcomes = slices.DeleteFunc(slices.Clone(seen.Outcomes), func(c OutcomeCount) bool { return !good(c.Succeeded, maxCount) || !good(c.Failed, maxCount) })
-	seen.Levels = slices.DeleteFunc(slices.Clone(seen.Levels), func(l OverloadLevel) bool {
-		return !good(l.Level, 1) || !good(l.Load, 1) || !good(l.Requests, maxCount) || !good(l.Failed, l.Requests)
-	})
-	for _, l := range seen.Levels {
-		f := s.totals[l.EndpointSet]
-		if f == nil {
-			f = &requestTotals{}
-			s.totals[l.EndpointSet] = f
+// Receive takes in a member's report, in place of the one before. Parts that are out of range are dropped.
+func (a *Aggregator) Receive(now monotime.Micros, member string, report Observations) {
+	report.Outcomes = slices.DeleteFunc(slices.Clone(report.Outcomes), func(c OutcomeCount) bool { return !c.valid() })
+	report.Levels = slices.DeleteFunc(slices.Clone(report.Levels), func(l OverloadLevel) bool { return !l.valid() })
+	for _, l := range report.Levels {
+		t := a.totals[l.EndpointSet]
+		if t == nil {
+			t = &requestTotals{}
+			a.totals[l.EndpointSet] = t
 		}
-		// No member counts for more than so many times the median: one that is loud, or says so, decides for nobody.
-		part := 1.0
-		if most := maxMedianWeight * s.medianRequests(l.EndpointSet); most > 0 && l.Requests > most {
-			part = most / l.Requests
+		weight := 1.0
+		if limit := maxMedianWeight * a.medianRequests(l.EndpointSet); limit > 0 && l.Requests > limit {
+			weight = limit / l.Requests
 		}
-		f.requests += part * l.Requests
-		f.failed += part * l.Failed
+		t.requests += weight * l.Requests
+		t.failed += weight * l.Failed
 	}
-	s.reports[member] = &memberReport{seen, now}
+	a.reports[member] = &memberReport{report, now}
 }
 
-// countMost bounds what one count may be: no instance ends so many attempts at an endpoint in so short a time.
-const maxCount = 1e7
+// inRange reports whether v is in 0..limit; NaN is not.
+func inRange(v, limit float64) bool { return v >= 0 && v <= limit }
 
-const (
-	// A member's word counts for so long: one that has died must not be heard on.
-	reportLifetime  = 2 * second
-	maxMedianWeight = 4
-	// So many outcomes are let pass before anything is held against an endpoint. Beyond that it is left out the more, the
-	// more it fails beyond what the others do: nearly always where that is two in five.
-	minOutcomes = 5.0
-	steepness   = 2.4
-	// Of two members that say an endpoint fails one may be the cause: the one that says so most is left out.
-	ignoredAccusers     = 2
-	maxAvoidProbability = 0.95
-)
+func (c *OutcomeCount) valid() bool {
+	return inRange(c.Succeeded, maxCount) && inRange(c.Failed, maxCount)
+}
+
+func (l *OverloadLevel) valid() bool {
+	return inRange(l.Level, 1) && inRange(l.Load, 1) && inRange(l.Requests, maxCount) && inRange(l.Failed, l.Requests)
+}
 
-// All returns what all have seen by now. Sums of fractions depend on their order: members go by name.
-func (s *Aggregator) Aggregate(now monotime.Micros) (all Aggregate) {
+// Aggregate returns what the members have reported by now, and starts new sums of requests.
+func (a *Aggregator) Aggregate(now monotime.Micros) Aggregate {
 	var names []string
-	for name, h := range s.reports {
-		if now-h.receivedAt > reportLifetime {
-			delete(s.reports, name)
+	for name, r := range a.reports {
+		if now-r.receivedAt > reportLifetime {
+			delete(a.reports, name)
 			continue
 		}
 		names = append(names, name)
 	}
-	slices.Sort(names)
-	all.Members = len(names)
-	all.Levels = s.levels(names)
-	all.Suspects = s.suspects(names)
-	return all
+	slices.Sort(names) // sums of floating-point numbers depend on their order
+	return Aggregate{Members: len(names), Levels: a.levels(names), Suspects: a.suspects(names)}
 }
 
-// median is that of what members were asked for, as they told last.
-func (s *Aggregator) medianRequests(of string) float64 {
-	var each []float64
-	for _, h := range s.reports {
-		for _, l := range h.Levels {
-			if l.EndpointSet == of {
-				each = append(each, l.Requests)
+// medianRequests returns the median of the requests that members have reported last for a set of endpoints; 0 if too
+// few have.
+func (a *Aggregator) medianRequests(endpointSet string) float64 {
+	var requests []float64
+	for _, r := range a.reports {
+		for _, l := range r.Levels {
+			if l.EndpointSet == endpointSet {
+				requests = append(requests, l.Requests)
 			}
 		}
 	}
-	if len(each) < 3 {
+	if len(requests) < minMembersForMedian {
 		return 0
 	}
-	slices.Sort(each)
-	return each[len(each)/2]
+	slices.Sort(requests)
+	return requests[len(requests)/2]
 }
 
-// levels returns the mean levels, by name.
-func (s *Aggregator) levels(names []string) (all []OverloadLevel) {
-	for of, f := range s.totals {
-		sum := OverloadLevel{EndpointSet: of, Requests: f.requests, Failed: f.failed}
-		var weights float64
-		most := maxMedianWeight * s.medianRequests(of)
-		for _, name := range names {
-			for _, l := range s.reports[name].Levels {
-				if l.EndpointSet == of && l.Level > 0 {
-					w := l.Requests
-					if most > 0 {
-						w = min(w, most)
-					}
-					sum.Level += w * l.Level
-					sum.Load += w * l.Load
-					weights += w
-				}
-			}
-		}
-		if weights > 0 {
-			sum.Level /= weights
-			sum.Load /= weights
-			all = append(all, sum)
-			*f = requestTotals{}
+// levels returns the aggregated levels by set of endpoints, and resets the totals of those returned.
+func (a *Aggregator) levels(members []string) (all []OverloadLevel) {
+	for endpointSet, t := range a.totals {
+		mean, known := a.meanLevel(endpointSet, members)
+		if !known {
+			continue
 		}
+		mean.Requests = t.requests
+		mean.Failed = t.failed
+		all = append(all, mean)
+		*t = requestTotals{}
 	}
-	slices.SortFunc(all, func(a, b OverloadLevel) int { return cmp.Compare(a.EndpointSet, b.EndpointSet) })
+	slices.SortFunc(all, func(x, y OverloadLevel) int { return cmp.Compare(x.EndpointSet, y.EndpointSet) })
 	return all
 }
+
+// meanLevel returns the mean of the members' levels and loads, weighted by their requests; known is false if no member
+// has a level.
+func (a *Aggregator) meanLevel(endpointSet string, members []string) (mean OverloadLevel, known bool) {
+	mean.EndpointSet = endpointSet
+	var weights float64
+	limit := maxMedianWeight * a.medianRequests(endpointSet)
+	for _, name := range members {
+		for _, l := range a.reports[name].Levels {
+			if l.EndpointSet != endpointSet || l.Level <= 0 {
+				continue
+			}
+			weight := l.Requests
+			if limit > 0 {
+				weight = min(weight, limit)
+			}
+			mean.Level += weight * l.Level
+			mean.Load += weight * l.Load
+			weights += weight
+		}
+	}
+	if weights <= 0 {
+		return mean, false
+	}
+	mean.Level /= weights
+	mean.Load /= weights
+	return mean, true
+}
--- a/internal/decide/observations/local.go
+++ b/internal/decide/observations/local.go
@@ -8,80 +8,95 @@
 	"dunlinsail/internal/monotime"
 )
 
-// span is the time over which outcomes count: at a tenth of a fleet of three hundred that each ask for one thing a second, an
-// endpoint of twelve is met ten times within it.
+// outcomeDecayTime is the time constant by which outcomes are forgotten. In a fleet of three hundred instances that
+// each send a request a second, one endpoint of twelve is met ten times within it by a tenth of the instances.
 const outcomeDecayTime = 5 * second
 
-// Own is what an instance has seen. The zero value has seen nothing.
+// negligibleCount is the smallest count of outcomes that is worth reporting.
+const negligibleCount = 0.05
+
+// Local is what one instance has observed of endpoints. The zero value has observed nothing.
 type Local struct {
 	counts   map[attemptKey]*decayingCount
-	rotation int
+	rotation int // how many reports had no room for all counts
 }
 
+// attemptKey is what outcomes are counted by.
 type attemptKey struct {
 	endpoint string
 	class    int
 }
 
+// decayingCount is the outcomes of a key as of decayedAt.
 type decayingCount struct {
-	succeeded, failed float64
-	decayedAt         monotime.Micros
+	succeeded float64
+	failed    float64
+	decayedAt monotime.Micros
 }
 
-func (t *decayingCount) decay(now monotime.Micros) {
-	if since := now - t.decayedAt; since > 0 {
-		f := math.Exp(-float64(since) / float64(outcomeDecayTime))
-		t.succeeded, t.failed, t.decayedAt = t.succeeded*f, t.failed*f, now
+func (c *decayingCount) decay(now monotime.Micros) {
+	elapsed := now - c.decayedAt
+	if elapsed <= 0 {
+		return
 	}
+	factor := math.Exp(-float64(elapsed) / float64(outcomeDecayTime))
+	c.succeeded *= factor
+	c.failed *= factor
+	c.decayedAt = now
 }
 
-// Ended tells how an attempt at an endpoint ended.
-func (o *Local) RecordOutcome(now monotime.Micros, endpoint string, class int, ok bool) {
-	if o.counts == nil {
-		o.counts = map[attemptKey]*decayingCount{}
+// RecordOutcome counts an attempt at an endpoint that has ended.
+func (l *Local) RecordOutcome(now monotime.Micros, endpoint string, class int, succeeded bool) {
+	if l.counts == nil {
+		l.counts = map[attemptKey]*decayingCount{}
 	}
-	at := attemptKey{endpoint, class}
-	t := o.counts[at]
-	if t == nil {
-		t = &decayingCount{decayedAt: now}
-		o.counts[at] = t
+	key := attemptKey{endpoint, class}
+	c := l.counts[key]
+	if c == nil {
+		c = &decayingCount{decayedAt: now}
+		l.counts[key] = c
 	}
-	t.decay(now)
-	if ok {
-		t.succeeded++
+	c.decay(now)
+	if succeeded {
+		c.succeeded++
 	} else {
-		t.failed++
+		c.failed++
 	}
 }
 
-// faint is what counts as nothing any more.
-const negligibleCount = 0.05
-
-// Counts returns so many counts at most: first of what failed, then of others in turn.
-func (o *Local) Outcomes(now monotime.Micros, most int) (all []OutcomeCount) {
-	for at, t := range o.counts {
-		if t.decay(now); t.succeeded+t.failed < negligibleCount {
-			delete(o.counts, at)
+// Outcomes returns at most limit counts. Where there are more, those with failures come first and the others in
+// rotation from call to call.
+func (l *Local) Outcomes(now monotime.Micros, limit int) []OutcomeCount {
+	var all []OutcomeCount
+	for key, c := range l.counts {
+		c.decay(now)
+		if c.succeeded+c.failed < negligibleCount {
+			delete(l.counts, key)
 			continue
 		}
-		all = append(all, OutcomeCount{at.endpoint, at.class, t.succeeded, t.failed})
+		all = append(all, OutcomeCount{key.endpoint, key.class, c.succeeded, c.failed})
 	}
 	slices.SortFunc(all, func(a, b OutcomeCount) int {
 		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Class, b.Class))
 	})
-	if len(all) > most {
-		o.rotation++
-		slices.SortStableFunc(all, func(a, b OutcomeCount) int { return cmp.Compare(b.Failed, a.Failed) })
-		failed := 0
-		for failed < most && all[failed].Failed >= negligibleCount {
-			failed++
-		}
-		rest := all[failed:]
-		for i := range most - failed {
-			j := (o.rotation*(most-failed) + i) % len(rest)
-			rest[i%len(rest)], rest[j] = rest[j], rest[i%len(rest)]
-		}
-		all = all[:most]
+	if len(all) <= limit {
+		return all
+	}
+	l.rotation++
+	slices.SortStableFunc(all, func(a, b OutcomeCount) int { return cmp.Compare(b.Failed, a.Failed) })
+	failing := 0
+	for failing < limit && all[failing].Failed >= negligibleCount {
+		failing++
+	}
+	rotate(all[failing:], limit-failing, l.rotation)
+	return all[:limit]
+}
+
+// rotate brings n counts to the front, others with each rotation.
+func rotate(counts []OutcomeCount, n, rotation int) {
+	for i := range n {
+		to := i % len(counts)
+		from := (rotation*n + i) % len(counts)
+		counts[to], counts[from] = counts[from], counts[to]
 	}
-	return all
 }
--- a/internal/decide/observations/observations.go
+++ b/internal/decide/observations/observations.go
@@ -1,17 +1,31 @@
-// Package observations adds up what the instances of a fleet have seen. Each by itself sees little of a fleet that is large: an
-// endpoint that fails is met once in a while by each of hundreds, and how much work has to be turned away shows in a few
-// requests. Together they have seen enough within a second. Own holds what one instance has seen, Sum what all have; what Sum
-// says is evidence only: whoever hears it decides by itself, and goes on by its own where nothing is heard. It is deterministic,
-// for one caller at a time: no I/O, no clock. It may not know balancers, sockets or who is alive.
+// Package observations adds up what the instances of a fleet observe of endpoints and of overload. In a large fleet
+// each instance observes little by itself: of a failing endpoint each of hundreds meets a failure now and then, and
+// how much load has to be shed shows in a few requests. Together they observe enough within a second.
+//
+// Local holds what one instance has observed, and Aggregator what the instances report; its Aggregate goes back to
+// all of them. Package coordination carries both. An Aggregate is evidence, not a decision: each instance decides by
+// itself what to do about it, and goes by its own observations where none arrives.
+//
+// The types are deterministic, without I/O or a clock, and not safe for concurrent use. The package must not know about
+// balancers, sockets, or which instances are alive.
 package observations
 
 import (
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+const second = monotime.Second
 
-// Count is how often attempts of a class of requests at an endpoint ended well and not, lately.
+// The tags of the types below are the names on the wire, which all builds share.
+
+// Observations are what one instance reports.
+type Observations struct {
+	Levels   []OverloadLevel `cbor:"Levels"`
+	Outcomes []OutcomeCount  `cbor:"Counts"`
+}
+
+// OutcomeCount is how many attempts of a class of requests at an endpoint succeeded and failed lately, decayed with
+// time.
 type OutcomeCount struct {
 	Endpoint  string  `cbor:"Endpoint"`
 	Class     int     `cbor:"Class"`
@@ -19,31 +33,28 @@
 	Failed    float64 `cbor:"Failed"`
 }
 
-// Level is what an instance has met in turning work away from one set of endpoints (package overload) since it told last.
+// OverloadLevel is what an instance has observed of the overload of a set of endpoints (package overload) since its
+// report before.
 type OverloadLevel struct {
-	EndpointSet string  `cbor:"Of"`    // the set's name
-	Level       float64 `cbor:"Level"` // at which it is
-	Load        float64 `cbor:"Load"`  // the part of its aim that a request spends at endpoints
-	Requests    float64 `cbor:"Asked"` // requests that came, and of these such as went on
-	Failed      float64 `cbor:"Vain"`  // in vain
+	EndpointSet string  `cbor:"Of"`
+	Level       float64 `cbor:"Level"` // of load shedding, in 0..1
+	Load        float64 `cbor:"Load"`  // fraction of its latency objective that a request spends at endpoints, in 0..1
+	Requests    float64 `cbor:"Asked"` // that arrived
+	Failed      float64 `cbor:"Vain"`  // of these, the ones that were admitted in vain
 }
 
-// Seen is what one instance has seen.
-type Observations struct {
+// Aggregate is what all instances have reported.
+type Aggregate struct {
+	// Levels has means of Level and Load, weighted by requests, and sums of Requests and Failed since the aggregate
+	// before.
 	Levels   []OverloadLevel `cbor:"Levels"`
-	Outcomes []OutcomeCount  `cbor:"Counts"`
+	Members  int             `cbor:"Members"`  // instances whose reports are in it
+	Suspects []Suspect       `cbor:"Suspects"` // the most suspected first
 }
 
 // Suspect is an endpoint that fails much of a class of requests.
 type Suspect struct {
 	Endpoint         string  `cbor:"Endpoint"`
 	Class            int     `cbor:"Class"`
-	AvoidProbability float64 `cbor:"Chance"` // with which it is better left out
-}
-
-// All is what all instances have seen.
-type Aggregate struct {
-	Levels   []OverloadLevel `cbor:"Levels"`  // means of levels and loads by what is asked for; sums of the others since All was called last
-	Members  int             `cbor:"Members"` // that it is of
-	Suspects []Suspect       `cbor:"Suspects"`
+	AvoidProbability float64 `cbor:"Chance"` // with which a request of the class is better sent elsewhere
 }
--- a/internal/decide/observations/suspects.go
+++ b/internal/decide/observations/suspects.go
@@ -5,58 +5,105 @@
 	"slices"
 )
 
-// suspects returns the endpoints that fail much by what several have seen.
-func (s *Aggregator) suspects(names []string) (all []Suspect) {
-	type total struct {
-		ok, failed, loudest, loudestOK float64
-		accusers                       int
-	}
-	totals := map[attemptKey]*total{}
-	var order []attemptKey // sums of fractions depend on it
-	for _, name := range names {
-		for _, c := range s.reports[name].Outcomes {
-			at := attemptKey{c.Endpoint, c.Class}
-			t := totals[at]
-			if t == nil {
-				t = &total{}
-				totals[at] = t
-				order = append(order, at)
-			}
-			t.ok += c.Succeeded
-			t.failed += c.Failed
-			if c.Failed >= negligibleCount {
-				t.accusers++
-			}
-			if c.Failed > t.loudest {
-				t.loudest, t.loudestOK = c.Failed, c.Succeeded
-			}
-		}
-	}
-	type part struct{ n, failed float64 }
-	every := map[int]part{} // by class, at all endpoints
-	parts := map[attemptKey]part{}
-	for _, at := range order {
-		t := totals[at]
-		p := part{t.ok + t.failed - t.loudest - t.loudestOK, t.failed - t.loudest}
-		parts[at] = p
-		e := every[at.class]
-		every[at.class] = part{e.n + p.n, e.failed + p.failed}
+const (
+	// minOutcomes is how many outcomes an endpoint must have before any is held against it, and steepness how the
+	// probability of avoiding it grows with what it fails beyond the others: beyond two in five it is nearly certain.
+	minOutcomes = 5.0
+	steepness   = 2.4
+	// ignoredAccusers is how many members that report failures of an endpoint are not enough: of so few one may be the
+	// cause itself. The one that reports most failures is left out in any case.
+	ignoredAccusers = 2
+	// maxAvoidProbability leaves a suspect some requests, by which its recovery shows.
+	maxAvoidProbability = 0.95
+	// maxSuspects is how many suspects there are at most: where more endpoints fail, none is to be avoided for another.
+	maxSuspects = 32
+)
+
+// outcomeTotal is what all members report of a key.
+type outcomeTotal struct {
+	succeeded    float64
+	failed       float64
+	accusers     int     // members that report failures
+	topFailed    float64 // failures by the member that reports most of them,
+	topSucceeded float64 // and its successes
+}
+
+// attempts are outcomes without those of the member that reports most failures.
+type attempts struct {
+	count  float64
+	failed float64
+}
+
+// suspects returns the endpoints that fail much more of a class of requests than the others do, by what several members
+// report.
+func (a *Aggregator) suspects(members []string) (all []Suspect) {
+	totals, keys := a.outcomeTotals(members)
+	byClass := map[int]attempts{}
+	byKey := map[attemptKey]attempts{}
+	for _, key := range keys {
+		own := totals[key].withoutTopAccuser()
+		byKey[key] = own
+		class := byClass[key.class]
+		byClass[key.class] = attempts{class.count + own.count, class.failed + own.failed}
 	}
-	for _, at := range order {
-		p, e := parts[at], every[at.class]
-		if totals[at].accusers <= ignoredAccusers || p.n <= minOutcomes {
+	for _, key := range keys {
+		own := byKey[key]
+		class := byClass[key.class]
+		if totals[key].accusers <= ignoredAccusers || own.count <= minOutcomes {
 			continue
 		}
-		others := (e.failed - p.failed + 1) / (e.n - p.n + 1) // nothing is known of others: all may fail
-		if chance := steepness * (p.failed/p.n - others) * (p.n - minOutcomes) / p.n; chance > 0 {
-			all = append(all, Suspect{at.endpoint, at.class, min(chance, maxAvoidProbability)})
+		// One more failure: where nothing is known of others, all may fail.
+		othersFailure := (class.failed - own.failed + 1) / (class.count - own.count + 1)
+		p := steepness * (own.failed/own.count - othersFailure) * (own.count - minOutcomes) / own.count
+		if p > 0 {
+			all = append(all, Suspect{key.endpoint, key.class, min(p, maxAvoidProbability)})
 		}
 	}
-	slices.SortFunc(all, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(b.AvoidProbability, a.AvoidProbability), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Class, b.Class))
+	slices.SortFunc(all, func(x, y Suspect) int {
+		return cmp.Or(
+			cmp.Compare(y.AvoidProbability, x.AvoidProbability),
+			cmp.Compare(x.Endpoint, y.Endpoint),
+			cmp.Compare(x.Class, y.Class),
+		)
 	})
 	return all[:min(len(all), maxSuspects)]
 }
 
-// suspectsMost is how many are told of: where more fail, none is to be left out for the others.
-const maxSuspects = 32
+// outcomeTotals returns the totals by key, and the keys in the order in which members report them: sums of
+// floating-point numbers depend on it.
+func (a *Aggregator) outcomeTotals(members []string) (totals map[attemptKey]*outcomeTotal, keys []attemptKey) {
+	totals = map[attemptKey]*outcomeTotal{}
+	for _, name := range members {
+		for _, c := range a.reports[name].Outcomes {
+			key := attemptKey{c.Endpoint, c.Class}
+			t := totals[key]
+			if t == nil {
+				t = &outcomeTotal{}
+				totals[key] = t
+				keys = append(keys, key)
+			}
+			t.add(c)
+		}
+	}
+	return totals, keys
+}
+
+func (t *outcomeTotal) add(c OutcomeCount) {
+	t.succeeded += c.Succeeded
+	t.failed += c.Failed
+	if c.Failed >= negligibleCount {
+		t.accusers++
+	}
+	if c.Failed > t.topFailed {
+		t.topFailed = c.Failed
+		t.topSucceeded = c.Succeeded
+	}
+}
+
+// withoutTopAccuser returns the outcomes without those of the member that reports most failures.
+func (t *outcomeTotal) withoutTopAccuser() attempts {
+	return attempts{
+		count:  t.succeeded + t.failed - t.topFailed - t.topSucceeded,
+		failed: t.failed - t.topFailed,
+	}
+}
