Document and shorten package coordination, and test its behaviour

The package comment gives the protocol, and Message says which fields go together. Requests and grants are handled in functions of their own. The package had no test of its own but that of a form: seven tests run members over a simulated network (election and division of the budget, an allocator that leaves or is cut off, a successor, aggregates, messages before the start, settings).

--- a/internal/decide/coordination/coordination.go
+++ b/internal/decide/coordination/coordination.go
@@ -1,9 +1,20 @@
-// Package coordination is what one instance says to the others of its fleet, and takes of what they say: it puts together who holds
-// the fleet's one lease (package lease), what each may spend of the fleet's budgets (package quota) and what all have seen
-// (package observations). A few instances, the lenders, are named in all files; the one that holds the lease keeps the book, all ask
-// it for loans once in a while, and tell it with that what they have seen. Nothing waits for any of it: whoever is not answered
-// goes on with what it holds, and then with its least. It is a deterministic state machine for one caller at a time: no I/O, no
-// clock, chance by a seed. It may not know how words are carried, or whom.
+// Package coordination is one instance's part in its fleet. It combines who holds the fleet's lease (package lease),
+// what each instance may spend of the fleet's budgets (package quota) and what all instances observe (package
+// observations).
+//
+// # Protocol
+//
+// A few instances, the candidates, are named in the settings of all. The one that wins the lease by the votes of a
+// majority of them is the allocator. Every instance sends the allocator a quota.LeaseRequest at each request
+// interval, with its observations; the quota.Grant that answers comes with the aggregate of all observations. An
+// instance that does not know the allocator, or gets no answer for some intervals, asks all candidates.
+//
+// No request of a client waits for a message. An instance without an answer goes on with the lease that it has, and
+// after that with its minimum. Messages may be lost, delayed, duplicated and reordered.
+//
+// Member is a deterministic state machine without I/O or a clock: package engine passes the time in and carries the
+// messages out, and the seed determines all random delays. The package must not know how messages are carried (package
+// peers does), or who is alive.
 package coordination
 
 import (
@@ -13,25 +24,26 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Settings are the same for all instances of a fleet, but for Self and Seed.
+// Settings must be the same for all instances of a fleet, but for Self, Seed and Quota.Position.
 type Settings struct {
-	Self          string
-	Candidates    []string // names; a majority of them decides who keeps the book
+	Self          string   // this instance's name
+	Candidates    []string // names of the instances that may be the allocator
 	Quota         quota.Settings
-	LeaseDuration monotime.Micros // how long the one who keeps the book does, without a majority that says so anew
-	Seed          uint64
+	LeaseDuration monotime.Micros // of the allocator's lease
+	Seed          uint64          // of the random delays
 }
 
-// Word is what instances tell one another; one of its parts is set.
+// Message is what instances send to each other: a vote (Lease), a request (Request and Observations), or the answer to
+// one (Grant and Aggregate). The other fields are nil. Its tags are the names on the wire, which all builds share.
 type Message struct {
 	Lease        *lease.Message             `cbor:"Lease"`
 	Request      *quota.LeaseRequest        `cbor:"Ask"`
-	Observations *observations.Observations `cbor:"Seen"` // with Ask
+	Observations *observations.Observations `cbor:"Seen"` // with Request; nil if the instance has no observer
 	Grant        *quota.Grant               `cbor:"Grant"`
-	Aggregate    *observations.Aggregate    `cbor:"All"` // with Grant
+	Aggregate    *observations.Aggregate    `cbor:"All"` // with Grant; nil if that grants no lease
 }
 
-// Out is a word that is to be told.
+// Outgoing is a message that the caller must send to an instance.
 type Outgoing struct {
 	To      string
 	Message Message
--- a/internal/decide/coordination/golden_test.go
+++ b/internal/decide/coordination/golden_test.go
@@ -10,14 +10,27 @@
 	"dunlinsail/internal/decide/quota"
 )
 
-// goldenView is what testdata/view.json holds. The file was written before the types had tags, and never changes: operators'
-// tools read this form.
+// goldenView is what testdata/view.json holds. The file was written before the types had tags, and never changes:
+// operators' tools read this form.
 func goldenView() View {
 	return View{
-		Active: true, Allocator: "instance-1", SinceLastGrant: 12_345, LeaseRemaining: 1_500_000,
-		Budgets: []BudgetStatus{{Budget: "tenant/one", Allowed: 20, Spent: 7}}, Members: 9, RecoveryRemaining: 3_000_000,
-		Leases: []quota.LeaseStatus{{Lessee: "instance-2", Incarnation: 0xfedcba9876543210, Budget: "tenant/one", Units: 20, Target: 30,
-			Requested: 33.5, Until: 7_000_000, LastRequestAt: 6_000_000}},
+		Active:            true,
+		Allocator:         "instance-1",
+		SinceLastGrant:    12_345,
+		LeaseRemaining:    1_500_000,
+		Budgets:           []BudgetStatus{{Budget: "tenant/one", Allowed: 20, Spent: 7}},
+		Members:           9,
+		RecoveryRemaining: 3_000_000,
+		Leases: []quota.LeaseStatus{{
+			Lessee:        "instance-2",
+			Incarnation:   0xfedcba9876543210,
+			Budget:        "tenant/one",
+			Units:         20,
+			Target:        30,
+			Requested:     33.5,
+			Until:         7_000_000,
+			LastRequestAt: 6_000_000,
+		}},
 	}
 }
 
--- a/internal/decide/coordination/member.go
+++ b/internal/decide/coordination/member.go
@@ -11,30 +11,46 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Member is one instance. Make one with New; it says nothing, and spends nothing, before Begin or Restore.
-type Member struct {
-	settings     Settings
-	rng          *rand.Rand
-	lessee       *quota.Lessee
-	voter        *lease.Voter // nil for who is no lender
-	allocator    *quota.Allocator
-	aggregator   *observations.Aggregator
-	jointLevels  map[string]*overload.SharedLevel // levels, by set of endpoints, while it keeps the book
-	ownAggregate observations.Aggregate           // that it comes to,
-	aggregatedAt monotime.Micros                  // as added up last
-	outgoing     []Outgoing
+const (
+	// maxUnanswered is after how many request intervals without an answer all candidates are asked.
+	maxUnanswered = 3
+	// aggregateLifetime is for how many request intervals a received aggregate is valid.
+	aggregateLifetime = 6
+)
 
-	observe         func(now monotime.Micros) observations.Observations // what it has seen itself; may be nil
-	received        observations.Aggregate                              // what all have
+// Member is one instance of the fleet. Create one with New; it sends nothing, and spends nothing, before Start or
+// Restore. It is not safe for concurrent use.
+type Member struct {
+	settings Settings
+	rng      *rand.Rand
+	outgoing []Outgoing
+	voter    *lease.Voter // nil if this instance is no candidate, or is not active
+
+	// As a lessee.
+	lessee          *quota.Lessee
+	observe         func(now monotime.Micros) observations.Observations // may be nil
+	received        observations.Aggregate                              // the latest from the allocator
 	receivedAt      monotime.Micros
-	receivedNew     bool // since it was taken last
+	receivedNew     bool // received has changed since TakeAggregate
 	nextRequestAt   monotime.Micros
-	unansweredSince monotime.Micros // unanswered since then
+	unansweredSince monotime.Micros // when the latest answer arrived, or all candidates were asked
+
+	// As the allocator.
+	allocator    *quota.Allocator
+	aggregator   *observations.Aggregator
+	sharedLevels map[string]*overload.SharedLevel // the fleet's overload level, by set of endpoints
+	ownAggregate observations.Aggregate           // what aggregator came to at aggregatedAt
+	aggregatedAt monotime.Micros
 }
 
-// New returns an instance that has not begun, or the error of settings that make no sense.
+// New returns an instance that is not started, or an error if the settings are out of range.
 func New(s Settings) (*Member, error) {
-	m := &Member{settings: s, rng: rand.New(rand.NewPCG(s.Seed, 3)), aggregator: observations.NewAggregator(), jointLevels: map[string]*overload.SharedLevel{}}
+	m := &Member{
+		settings:     s,
+		rng:          rand.New(rand.NewPCG(s.Seed, 3)),
+		aggregator:   observations.NewAggregator(),
+		sharedLevels: map[string]*overload.SharedLevel{},
+	}
 	var err error
 	if m.lessee, err = quota.NewLessee(s.Quota); err != nil {
 		return nil, err
@@ -42,8 +58,10 @@
 	if m.allocator, err = quota.NewAllocator(s.Quota); err != nil {
 		return nil, err
 	}
-	_, err = lease.New(0, m.leaseSettings(1))
-	if m.isCandidate() && err != nil {
+	if !m.isCandidate() {
+		return m, nil
+	}
+	if _, err := lease.New(0, m.leaseSettings(1)); err != nil {
 		return nil, err
 	}
 	return m, nil
@@ -51,45 +69,58 @@
 
 func (m *Member) isCandidate() bool { return slices.Contains(m.settings.Candidates, m.settings.Self) }
 
-func (m *Member) leaseSettings(life uint64) lease.Settings {
-	return lease.Settings{Self: m.settings.Self, Incarnation: life, Voters: m.settings.Candidates, Duration: m.settings.LeaseDuration, MaxClockDrift: m.settings.Quota.MaxClockDrift, Seed: m.settings.Seed}
+func (m *Member) leaseSettings(incarnation uint64) lease.Settings {
+	return lease.Settings{
+		Self:          m.settings.Self,
+		Incarnation:   incarnation,
+		Voters:        m.settings.Candidates,
+		Duration:      m.settings.LeaseDuration,
+		MaxClockDrift: m.settings.Quota.MaxClockDrift,
+		Seed:          m.settings.Seed,
+	}
 }
 
-// Sees says what tells what the instance has seen itself.
-func (m *Member) SetObserver(f func(now monotime.Micros) observations.Observations) { m.observe = f }
+// SetObserver sets what returns this instance's observations. It is called for each request; it may call
+// SetContribution and SetBudget.
+func (m *Member) SetObserver(observe func(now monotime.Micros) observations.Observations) {
+	m.observe = observe
+}
 
-// Begin begins the instance's life, as a process that no other is beside. life is a number that no other process of its name
-// has had.
-func (m *Member) Start(now monotime.Micros, life uint64) {
-	m.lessee.Start(now, life)
-	m.activate(now, life)
+// Start starts an instance whose process takes no other's place. No process of its name may have had the incarnation.
+func (m *Member) Start(now monotime.Micros, incarnation uint64) {
+	m.lessee.Start(now, incarnation)
+	m.activate(now, incarnation)
 }
 
-// Restore begins in another process's place, with what it had so long ago.
-func (m *Member) Restore(now, age monotime.Micros, life uint64, s *quota.State) {
+// Restore starts an instance whose process takes a predecessor's place, with the state that this handed over; age is
+// the state's.
+func (m *Member) Restore(now, age monotime.Micros, incarnation uint64, s *quota.State) {
 	m.lessee.Restore(now, age, s)
-	m.activate(now, life)
+	m.activate(now, incarnation)
 }
 
-func (m *Member) activate(now monotime.Micros, life uint64) {
-	m.outgoing, m.unansweredSince = nil, now
-	m.nextRequestAt = now + m.rng.Int64N(m.settings.Quota.RequestInterval) // all may start at once
+func (m *Member) activate(now monotime.Micros, incarnation uint64) {
+	m.outgoing = nil
+	m.unansweredSince = now
+	// A random part of the interval, since all instances may start at once.
+	m.nextRequestAt = now + m.rng.Int64N(m.settings.Quota.RequestInterval)
 	if m.isCandidate() {
-		m.voter, _ = lease.New(now, m.leaseSettings(life)) // its settings were taken before
+		m.voter, _ = lease.New(now, m.leaseSettings(incarnation)) // New has validated the settings
 	}
 }
 
-// Begun says whether it has begun.
+// Active reports whether the instance is started, and has not handed over.
 func (m *Member) Active() bool { return m.lessee.Active() }
 
-// Give ends this process's part, for another that takes its place, and returns what that has to know.
+// HandOver ends this process's part and returns the state for its successor.
 func (m *Member) HandOver(now monotime.Micros) *quota.State {
 	s := m.lessee.HandOver(now)
 	m.Leave(now)
 	return s
 }
 
-// Leave tells that the process is about to end: the others need not wait until its lease is over.
+// Leave gives up the lease, if it is held, because the process is about to end: the others need not wait until it
+// expires.
 func (m *Member) Leave(now monotime.Micros) {
 	if m.voter != nil {
 		m.voter.Resign(now)
@@ -99,55 +130,52 @@
 	m.allocator.Stop()
 }
 
-// ---- Budgets ---------------------------------------------------------------
-
-// Budget says what units a second a budget has over all instances; earned says that it is what instances add up to.
-func (m *Member) SetBudget(name string, units float64, earned bool) {
-	if earned {
+// SetBudget sets how many units a second all instances together may spend of a budget. Of a contributed one the
+// instances' contributions add up to that, and units is ignored.
+func (m *Member) SetBudget(name string, units float64, contributed bool) {
+	if contributed {
 		units = 0
 	}
 	m.lessee.SetBudget(name, units)
-	m.allocator.SetBudget(name, units, earned)
+	m.allocator.SetBudget(name, units, contributed)
 }
 
-// Forget forgets a budget.
+// RemoveBudget removes a budget. Nothing of it may be spent any more.
 func (m *Member) RemoveBudget(name string) {
 	m.lessee.RemoveBudget(name)
 	m.allocator.RemoveBudget(name)
 }
 
-// Earn says what units a second this instance adds to a budget, and what all can add by what endpoints report.
+// SetContribution sets how many units a second this instance adds to a contributed budget, and a ceiling of what all
+// instances together can add to it.
 func (m *Member) SetContribution(name string, units, ceiling float64) {
 	m.lessee.SetContribution(name, units)
 	m.allocator.SetCeiling(name, ceiling)
 }
 
-// Want notes that a unit is asked for, whether or not there is one.
+// RecordDemand counts a unit of a budget that is needed, whether or not it is available.
 func (m *Member) RecordDemand(now monotime.Micros, name string) { m.lessee.RecordDemand(now, name) }
 
-// Take spends a unit, and says whether there was one.
+// Spend spends a unit of a budget, and reports whether one was available.
 func (m *Member) Spend(now monotime.Micros, name string) bool { return m.lessee.Spend(now, name) }
 
-// Left returns how many units may be spent at once.
+// Available returns how many units of a budget may be spent at now.
 func (m *Member) Available(now monotime.Micros, name string) int {
 	return m.lessee.Available(now, name)
 }
 
-// Allowed returns how many units may be spent within the second that ends now.
+// Allowed returns how many units of a budget may be spent within the second that ends at now.
 func (m *Member) Allowed(now monotime.Micros, name string) int { return m.lessee.Allowed(now, name) }
 
-// unanswered is after how many periods without an answer all lenders are asked who keeps the book.
-const maxUnanswered = 3
-
-// old is for how many periods what all have seen is taken for what they see.
-const aggregateLifetime = 6
-
-// Told returns what all have seen, once each time that it is news; ok is false where nothing new was heard. Where nothing has
-// been heard for long it returns nothing as news, once.
-func (m *Member) TakeAggregate(now monotime.Micros) (all observations.Aggregate, ok bool) {
-	if !m.receivedNew && m.received.Members > 0 && now-m.receivedAt > aggregateLifetime*m.settings.Quota.RequestInterval {
-		m.received, m.receivedNew = observations.Aggregate{}, true
+// TakeAggregate returns the latest aggregate of all instances' observations; changed is false if it has been returned
+// before. An aggregate that has expired becomes the zero value, which counts as a change once.
+func (m *Member) TakeAggregate(now monotime.Micros) (all observations.Aggregate, changed bool) {
+	lifetime := aggregateLifetime * m.settings.Quota.RequestInterval
+	if !m.receivedNew && m.received.Members > 0 && now-m.receivedAt > lifetime {
+		m.received = observations.Aggregate{}
+		m.receivedNew = true
 	}
-	ok, m.receivedNew = m.receivedNew, false
-	return m.received, ok
+	changed = m.receivedNew
+	m.receivedNew = false
+	return m.received, changed
 }
--- /dev/null
+++ b/internal/decide/coordination/member_test.go
@@ -0,0 +1,262 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinsail/internal/decide/observations"
+	"dunlinsail/internal/decide/quota"
+	"dunlinsail/internal/monotime"
+)
+
+const (
+	second     = monotime.Second
+	budgetName = "b"
+	units      = 100
+)
+
+// convergenceTime is within what a fleet without faults has an allocator that has recovered, and all members have
+// leases.
+const convergenceTime = 10 * second
+
+// fleet runs members by one clock, over a network that delivers each message after a millisecond.
+type fleet struct {
+	t        *testing.T
+	now      monotime.Micros
+	names    []string
+	members  map[string]*Member
+	cut      map[string]bool // members that no message reaches
+	inFlight []inFlightMessage
+}
+
+type inFlightMessage struct {
+	from, to  string
+	arrivesAt monotime.Micros
+	message   Message
+}
+
+func testSettings(self string, candidates []string, maxInstances int) Settings {
+	return Settings{
+		Self:          self,
+		Candidates:    candidates,
+		LeaseDuration: second,
+		Seed:          uint64(self[0]),
+		Quota: quota.Settings{
+			MaxInstances:    maxInstances,
+			Reserve:         0.1,
+			LeaseDuration:   2 * second,
+			RequestInterval: second / 4,
+			MaxClockDrift:   0.005,
+		},
+	}
+}
+
+// startFleet starts members, the first three of which are candidates.
+func startFleet(t *testing.T, names ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, names: names, members: map[string]*Member{}, cut: map[string]bool{}}
+	for i, name := range names {
+		f.members[name] = f.newMember(name)
+		f.members[name].Start(f.now, uint64(i+1))
+	}
+	return f
+}
+
+func (f *fleet) newMember(name string) *Member {
+	f.t.Helper()
+	m, err := New(testSettings(name, f.names[:min(3, len(f.names))], len(f.names)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.SetBudget(budgetName, units, false)
+	return m
+}
+
+// run advances the time by d. Each member demands a unit each step, so that the whole budget is in demand.
+func (f *fleet) run(d monotime.Micros) {
+	f.t.Helper()
+	const step = second / 1000
+	for end := f.now + d; f.now < end; f.now += step {
+		arrived := f.inFlight
+		f.inFlight = nil
+		for _, m := range arrived {
+			if m.arrivesAt > f.now {
+				f.inFlight = append(f.inFlight, m)
+			} else if !f.cut[m.to] {
+				f.members[m.to].Receive(f.now, m.from, m.message)
+				f.collect(m.to)
+			}
+		}
+		allowed := 0
+		for _, name := range f.names {
+			m := f.members[name]
+			m.RecordDemand(f.now, budgetName)
+			if f.now >= m.NextTick() {
+				m.Tick(f.now)
+			}
+			f.collect(name)
+			allowed += m.Allowed(f.now, budgetName)
+		}
+		if allowed > units {
+			f.t.Fatalf("%d of %d units are allowed at %d", allowed, units, f.now)
+		}
+	}
+}
+
+func (f *fleet) collect(from string) {
+	for _, o := range f.members[from].TakeOutgoing() {
+		f.inFlight = append(f.inFlight, inFlightMessage{from, o.To, f.now + second/1000, o.Message})
+	}
+}
+
+// allocator returns the name of the one member that grants leases; empty if there is none.
+func (f *fleet) allocator() (name string) {
+	f.t.Helper()
+	for _, candidate := range f.names {
+		if _, active := f.members[candidate].allocator.ActiveTerm(); !active {
+			continue
+		}
+		if name != "" {
+			f.t.Fatalf("%s and %s are both the allocator", name, candidate)
+		}
+		name = candidate
+	}
+	return name
+}
+
+func (f *fleet) allowed() (sum int) {
+	for _, m := range f.members {
+		sum += m.Allowed(f.now, budgetName)
+	}
+	return sum
+}
+
+func TestFleetElectsAllocatorAndDividesBudget(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		t.Run(fmt.Sprint(len(names)), func(t *testing.T) {
+			f := startFleet(t, names...)
+			f.run(convergenceTime)
+			allocator := f.allocator()
+			if allocator == "" {
+				t.Fatal("there is no allocator")
+			}
+			for name, m := range f.members {
+				if v := m.View(f.now); v.Allocator != allocator || v.LeaseRemaining <= 0 {
+					t.Errorf("%s: %+v, not a lease from %s", name, v, allocator)
+				}
+			}
+			if n := f.allowed(); n < 9*units/10 {
+				t.Errorf("only %d of %d units are allowed, though all are in demand", n, units)
+			}
+			if v := f.members[allocator].View(f.now); v.RecoveryRemaining != 0 || len(v.Leases) != len(names) {
+				t.Errorf("the allocator shows %+v", v)
+			}
+		})
+	}
+}
+
+func TestLeavingAllocatorIsReplacedBeforeItsLeaseExpires(t *testing.T) {
+	f := startFleet(t, "a", "b", "c", "d")
+	f.run(convergenceTime)
+	first := f.allocator()
+	f.members[first].Leave(f.now)
+	f.collect(first)
+	f.run(3 * second / 4) // less than the lease's duration
+	if next := f.allocator(); next == "" || next == first {
+		t.Errorf("the allocator is %q after %s has left", next, first)
+	}
+}
+
+func TestSilentAllocatorIsReplacedAndLeasesExpire(t *testing.T) {
+	f := startFleet(t, "a", "b", "c", "d")
+	f.run(convergenceTime)
+	first := f.allocator()
+	f.cut[first] = true
+	f.run(convergenceTime)
+	next := f.allocator()
+	if next == "" || next == first {
+		t.Errorf("the allocator is %q after %s is cut off", next, first)
+	}
+	if v := f.members["d"].View(f.now); v.Allocator != next || v.LeaseRemaining <= 0 {
+		t.Errorf("d: %+v, not a lease from %s", v, next)
+	}
+	minimum := f.members[first].settings.Quota.Minimum(units)
+	if n := f.members[first].Allowed(f.now, budgetName); n != minimum {
+		t.Errorf("the one that is cut off may spend %d, not its minimum of %d", n, minimum)
+	}
+}
+
+func TestSuccessorGoesOnWithLeaseOfPredecessor(t *testing.T) {
+	f := startFleet(t, "a", "b", "c", "d")
+	f.run(convergenceTime)
+	predecessor := f.members["d"]
+	allowed := predecessor.Allowed(f.now, budgetName)
+	state := predecessor.HandOver(f.now)
+	if predecessor.Active() || predecessor.Spend(f.now, budgetName) {
+		t.Error("the predecessor spends after it has handed over")
+	}
+	predecessor.Tick(f.now)
+	if out := predecessor.TakeOutgoing(); len(out) != 0 {
+		t.Errorf("the predecessor sends %v", out)
+	}
+	successor := f.newMember("d")
+	successor.Restore(f.now, 0, 99, state)
+	f.members["d"] = successor
+	if n := successor.Allowed(f.now, budgetName); n != allowed {
+		t.Errorf("the successor may spend %d, its predecessor %d", n, allowed)
+	}
+	f.run(second)
+	if v := successor.View(f.now); v.LeaseRemaining <= 0 {
+		t.Errorf("the successor has no lease of its own: %+v", v)
+	}
+}
+
+func TestAggregateReachesAllMembersOnceAndExpires(t *testing.T) {
+	f := startFleet(t, "a", "b", "c", "d")
+	for _, m := range f.members {
+		m.SetObserver(func(monotime.Micros) observations.Observations { return observations.Observations{} })
+	}
+	f.run(convergenceTime)
+	d := f.members["d"]
+	all, changed := d.TakeAggregate(f.now)
+	if !changed || all.Members != len(f.names) {
+		t.Errorf("d has received %+v, changed %v", all, changed)
+	}
+	if _, changed := d.TakeAggregate(f.now); changed {
+		t.Error("an aggregate is returned as new twice")
+	}
+	f.cut["d"] = true
+	f.run(2 * aggregateLifetime * d.settings.Quota.RequestInterval)
+	if all, changed := d.TakeAggregate(f.now); !changed || all.Members != 0 {
+		t.Errorf("%+v, changed %v, after the aggregate has expired", all, changed)
+	}
+	if _, changed := d.TakeAggregate(f.now); changed {
+		t.Error("an aggregate expires twice")
+	}
+}
+
+func TestInactiveMemberIgnoresMessages(t *testing.T) {
+	m, err := New(testSettings("a", []string{"a"}, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Receive(0, "b", Message{Request: &quota.LeaseRequest{Incarnation: 1, Sequence: 1}})
+	m.Tick(second)
+	if out := m.TakeOutgoing(); len(out) != 0 || m.Active() {
+		t.Errorf("sends %v before it is started", out)
+	}
+}
+
+func TestInvalidSettingsAreRejected(t *testing.T) {
+	for name, change := range map[string]func(s *Settings){
+		"quota":             func(s *Settings) { s.Quota.MaxInstances = 0 },
+		"no lease":          func(s *Settings) { s.LeaseDuration = 0 },
+		"a candidate twice": func(s *Settings) { s.Candidates = []string{"a", "a"} },
+	} {
+		s := testSettings("a", []string{"a"}, 1)
+		change(&s)
+		if _, err := New(s); err == nil {
+			t.Errorf("%s: %+v is accepted", name, s)
+		}
+	}
+}
--- a/internal/decide/coordination/protocol.go
+++ b/internal/decide/coordination/protocol.go
@@ -8,9 +8,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// ---- Words -----------------------------------------------------------------
-
-// Next is when Tick has something to do.
+// NextTick returns when Tick must be called next.
 func (m *Member) NextTick() monotime.Micros {
 	at := m.nextRequestAt
 	if m.voter != nil {
@@ -19,14 +17,7 @@
 	return at
 }
 
-// Out returns what is to be told since it was called last.
-func (m *Member) TakeOutgoing() []Outgoing {
-	out := m.outgoing
-	m.outgoing = nil
-	return out
-}
-
-// Tick does what is due.
+// Tick does what is due at now.
 func (m *Member) Tick(now monotime.Micros) {
 	if !m.Active() {
 		return
@@ -41,110 +32,136 @@
 	}
 }
 
-// flush takes the voter's words.
+// TakeOutgoing returns the messages to send since it was called last.
+func (m *Member) TakeOutgoing() []Outgoing {
+	taken := m.outgoing
+	m.outgoing = nil
+	return taken
+}
+
+// send queues a message; one to the instance itself is handled at once.
+func (m *Member) send(now monotime.Micros, to string, message Message) {
+	if to == m.settings.Self {
+		m.Receive(now, to, message)
+		return
+	}
+	m.outgoing = append(m.outgoing, Outgoing{to, message})
+}
+
+// queueLeaseMessages queues the voter's messages.
 func (m *Member) queueLeaseMessages() {
 	for _, o := range m.voter.TakeOutgoing() {
 		m.outgoing = append(m.outgoing, Outgoing{o.To, Message{Lease: &o.Message}})
 	}
 }
 
-// keep keeps the book while the lease is held.
+// followLease starts the allocator when the lease is won and stops it when the lease is lost.
 func (m *Member) followLease(now monotime.Micros) {
-	held, _, yes := m.voter.HeldTerm(now)
-	if term, open := m.allocator.ActiveTerm(); open && (!yes || held != term) {
+	held, _, holds := m.voter.HeldTerm(now)
+	if term, active := m.allocator.ActiveTerm(); active && (!holds || held != term) {
 		m.allocator.Stop()
 	}
-	if _, open := m.allocator.ActiveTerm(); yes && !open {
+	if _, active := m.allocator.ActiveTerm(); holds && !active {
 		m.allocator.Start(now, held)
-		m.aggregator, m.ownAggregate, m.aggregatedAt = observations.NewAggregator(), observations.Aggregate{}, now
-		clear(m.jointLevels)
+		m.aggregator = observations.NewAggregator()
+		m.ownAggregate = observations.Aggregate{}
+		m.aggregatedAt = now
+		clear(m.sharedLevels)
 	}
 }
 
-// ask asks for a loan, and tells what was seen.
+// sendRequest requests a lease from the allocator, or from all candidates if it is not known or does not answer.
 func (m *Member) sendRequest(now monotime.Micros) {
-	every := m.settings.Quota.RequestInterval
-	m.nextRequestAt = now + every - every/16 + m.rng.Int64N(every/8) // not in step
+	interval := m.settings.Quota.RequestInterval
+	m.nextRequestAt = now + interval - interval/16 + m.rng.Int64N(interval/8) // instances must not fall into step
 	if len(m.settings.Candidates) == 0 {
 		return
 	}
-	if now-m.unansweredSince > maxUnanswered*every {
+	if now-m.unansweredSince > maxUnanswered*interval {
 		m.lessee.ForgetAllocator()
 		m.unansweredSince = now
 	}
-	a := m.lessee.NewRequest(now)
-	w := Message{Request: &a}
+	request := m.lessee.NewRequest(now)
+	message := Message{Request: &request}
 	if m.observe != nil {
-		seen := m.observe(now)
-		w.Observations = &seen
+		observed := m.observe(now)
+		message.Observations = &observed
 	}
-	if a.Term.Holder != "" {
-		m.send(now, a.Term.Holder, w)
+	if allocator := request.Term.Holder; allocator != "" {
+		m.send(now, allocator, message)
 		return
 	}
 	for _, name := range m.settings.Candidates {
-		m.send(now, name, w)
-	}
-}
-
-func (m *Member) send(now monotime.Micros, to string, w Message) {
-	if to == m.settings.Self {
-		m.Receive(now, to, w)
-		return
+		m.send(now, name, message)
 	}
-	m.outgoing = append(m.outgoing, Outgoing{to, w})
 }
 
-// Hear takes another's word in.
-func (m *Member) Receive(now monotime.Micros, from string, w Message) {
+// Receive handles a message of another instance.
+func (m *Member) Receive(now monotime.Micros, from string, message Message) {
 	switch {
 	case !m.Active():
-	case w.Lease != nil && m.voter != nil:
-		m.voter.Receive(now, from, *w.Lease)
+	case message.Lease != nil && m.voter != nil:
+		m.voter.Receive(now, from, *message.Lease)
 		m.queueLeaseMessages()
 		m.followLease(now)
-	case w.Request != nil && m.voter != nil:
-		m.followLease(now)
-		g, ok := m.allocator.HandleRequest(now, from, *w.Request)
-		if !ok {
-			return
-		}
-		answer := Message{Grant: &g}
-		if w.Observations != nil {
-			m.aggregator.Receive(now, from, *w.Observations)
-		}
-		if g.Serial != 0 {
-			all := m.aggregate(now) // its own copy: it goes on while the sum is made anew
-			answer.Aggregate = &all
-		}
-		m.send(now, from, answer)
-	case w.Grant != nil:
-		if m.lessee.HandleGrant(now, *w.Grant) {
-			m.nextRequestAt = now
-		}
-		if _, at := m.lessee.KnownAllocator(); at == now {
-			m.unansweredSince = now
-			if w.Aggregate != nil {
-				m.received, m.receivedAt, m.receivedNew = *w.Aggregate, now, true
-			}
-		}
+	case message.Request != nil && m.voter != nil:
+		m.handleRequest(now, from, message)
+	case message.Grant != nil:
+		m.handleGrant(now, message)
 	}
 }
 
-// everything is what all have seen, added up once in a while.
+// handleRequest answers a request, if this instance is the allocator.
+func (m *Member) handleRequest(now monotime.Micros, from string, message Message) {
+	m.followLease(now)
+	grant, ok := m.allocator.HandleRequest(now, from, *message.Request)
+	if !ok {
+		return
+	}
+	answer := Message{Grant: &grant}
+	if message.Observations != nil {
+		m.aggregator.Receive(now, from, *message.Observations)
+	}
+	if grant.Serial != 0 {
+		aggregate := m.aggregate(now) // a copy: ownAggregate may change before the message is sent
+		answer.Aggregate = &aggregate
+	}
+	m.send(now, from, answer)
+}
+
+// handleGrant takes in the answer to a request.
+func (m *Member) handleGrant(now monotime.Micros, message Message) {
+	if m.lessee.HandleGrant(now, *message.Grant) {
+		m.nextRequestAt = now
+	}
+	if _, lastGrantAt := m.lessee.KnownAllocator(); lastGrantAt != now {
+		return
+	}
+	m.unansweredSince = now
+	if message.Aggregate != nil {
+		m.received = *message.Aggregate
+		m.receivedAt = now
+		m.receivedNew = true
+	}
+}
+
+// aggregate returns what all instances have reported, with the fleet's overload levels. It is computed at most four
+// times in a request interval.
 func (m *Member) aggregate(now monotime.Micros) observations.Aggregate {
-	if now-m.aggregatedAt >= m.settings.Quota.RequestInterval/4 {
-		m.ownAggregate, m.aggregatedAt = m.aggregator.Aggregate(now), now
-		m.ownAggregate.Levels = slices.Clone(m.ownAggregate.Levels)
-		for i := range m.ownAggregate.Levels {
-			l := &m.ownAggregate.Levels[i]
-			j := m.jointLevels[l.EndpointSet]
-			if j == nil {
-				j = overload.NewSharedLevel(now, l.Level)
-				m.jointLevels[l.EndpointSet] = j
-			}
-			l.Level = j.Update(now, l.Requests, l.Failed, l.Load)
+	if now-m.aggregatedAt < m.settings.Quota.RequestInterval/4 {
+		return m.ownAggregate
+	}
+	m.ownAggregate = m.aggregator.Aggregate(now)
+	m.aggregatedAt = now
+	m.ownAggregate.Levels = slices.Clone(m.ownAggregate.Levels)
+	for i := range m.ownAggregate.Levels {
+		level := &m.ownAggregate.Levels[i]
+		sharedLevel := m.sharedLevels[level.EndpointSet]
+		if sharedLevel == nil {
+			sharedLevel = overload.NewSharedLevel(now, level.Level)
+			m.sharedLevels[level.EndpointSet] = sharedLevel
 		}
+		level.Level = sharedLevel.Update(now, level.Requests, level.Failed, level.Load)
 	}
 	return m.ownAggregate
 }
