Document package cordon

The comments say what a record, a set and the retention of uncordons are for. Tests say the behaviour.

--- a/internal/decide/cordon/cordon.go
+++ b/internal/decide/cordon/cordon.go
@@ -1,6 +1,11 @@
-// Package cordon decides which endpoints are out by hand. It keeps the latest word on each name; words of several sources,
-// as of the two processes of an upgrade, may be told in any order and more than once, and all who have heard the same
-// words hold the same. It is a deterministic state machine for one caller at a time and knows neither lists nor balancers.
+// Package cordon decides which endpoints operators have cordoned: those that must get no new requests until they are
+// uncordoned. Package engine keeps a Set and applies it to the balancers of all pools.
+//
+// A Set keeps the latest record of each endpoint name. Records of several sources, such as the two processes of a hot
+// restart, may arrive in any order and more than once; all who have received the same records agree.
+//
+// The package is a deterministic state machine without I/O or a clock, and must not know about endpoint lists or
+// balancers.
 package cordon
 
 import (
@@ -10,50 +15,51 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Word is what was said of a name.
+// Record is an operator's latest call for an endpoint. Its tags are the names in takeover messages, snapshots and the
+// stored file.
 type Record struct {
 	Name     string          `json:"Name"`
-	Cordoned bool            `json:"Out"`
+	Cordoned bool            `json:"Out"` // false uncordons it
 	At       monotime.Micros `json:"At"`
 }
 
-// keep is for how long a word that lets a name in is kept: an older one that says out may still be on its way from
-// another process. Words travel within a second; a minute is far beyond.
+// uncordonRetention is for how long a record that uncordons an endpoint is kept, since an older one that cordons it may
+// still arrive from another process. Records travel within a second; a minute is far beyond.
 const uncordonRetention monotime.Micros = 60_000_000
 
-// Set is the latest word on each name. The zero value is empty.
+// Set is the latest record of each endpoint name. The zero value is empty. It is not safe for concurrent use.
 type Set struct{ records map[string]Record }
 
-// Say hears a word, and says whether it changed what holds for the name. Of two words the later holds; of two of one
-// instant, the one that says out.
-func (s *Set) Apply(w Record) (changed bool) {
-	was, known := s.records[w.Name]
-	if known && (w.At < was.At || w.At == was.At && !w.Cordoned) {
+// Apply takes in a record, and reports whether that cordons or uncordons the endpoint. Of two records the later one
+// wins; of two of the same instant the one that cordons.
+func (s *Set) Apply(r Record) (changed bool) {
+	before, known := s.records[r.Name]
+	if known && (r.At < before.At || r.At == before.At && !r.Cordoned) {
 		return false
 	}
 	if s.records == nil {
 		s.records = map[string]Record{}
 	}
-	s.records[w.Name] = w
-	for name, o := range s.records { // few: one each that a hand has touched
-		if !o.Cordoned && w.At-o.At > uncordonRetention {
+	s.records[r.Name] = r
+	for name, other := range s.records { // few: only endpoints that an operator has touched
+		if !other.Cordoned && r.At-other.At > uncordonRetention {
 			delete(s.records, name)
 		}
 	}
-	return was.Cordoned != w.Cordoned
+	return before.Cordoned != r.Cordoned
 }
 
-// Out says whether a name is out.
+// Cordoned reports whether an endpoint is cordoned.
 func (s *Set) Cordoned(name string) bool { return s.records[name].Cordoned }
 
-// Latest returns the instant of the latest word on a name, 0 for none: what is said next must be later.
+// LastChange returns the instant of an endpoint's latest record, 0 if there is none. The next record must be later.
 func (s *Set) LastChange(name string) monotime.Micros { return s.records[name].At }
 
-// Words returns all words that are kept, by name.
+// Records returns all records, sorted by name.
 func (s *Set) Records() []Record {
 	all := make([]Record, 0, len(s.records))
-	for _, w := range s.records {
-		all = append(all, w)
+	for _, r := range s.records {
+		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
 	return all
