Document and shorten package peers; standard log messages

Options, member and counters are documented; decoding, addressing and joining are functions of their own. Tests say the behaviour.

--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -16,13 +16,13 @@
 	"dunlinsail/internal/decide/quota"
 )
 
-// The files under testdata were written before the message types had tags, and never change: instances of builds before and
-// after a change of the code must understand each other.
+// The files under testdata were written before the message types had tags, and never change: instances of builds
+// before and after a change of the code must understand each other.
 
 // goldenEnvelopes returns one message of each type, with the file that holds its encoded form.
 func goldenEnvelopes() map[string]envelope {
 	term := lease.Term{Holder: "instance-1", Incarnation: 0xfedcba9876543210, Round: 17}
-	ask := &quota.LeaseRequest{
+	request := &quota.LeaseRequest{
 		Incarnation: 0x0123456789abcdef, Sequence: 23, Term: term, HeldSerial: 5,
 		HeldTerm: lease.Term{Holder: "instance-0", Incarnation: 3, Round: 2},
 		Demands: []quota.Demand{
@@ -30,37 +30,52 @@
 			{Budget: "tenant/one", Requested: 100, Used: 1e6, Held: 1, Contributed: 0.5},
 		},
 	}
-	seen := &observations.Observations{
-		Levels:   []observations.OverloadLevel{{EndpointSet: "pool", Level: 0.75, Load: 0.3, Requests: 120, Failed: 13}},
+	observed := &observations.Observations{
+		Levels: []observations.OverloadLevel{
+			{EndpointSet: "pool", Level: 0.75, Load: 0.3, Requests: 120, Failed: 13},
+		},
 		Outcomes: []observations.OutcomeCount{{Endpoint: "pool/s-1", Class: 2, Succeeded: 13.37, Failed: 4.5}},
 	}
 	grant := &quota.Grant{
 		Incarnation: 0x0123456789abcdef, Sequence: 23, Term: term, Serial: 6, Duration: 2_000_000,
 		Allocations: []quota.Allocation{{Budget: "further", Units: 40}, {Budget: "tenant/one", Units: 1}},
 	}
-	all := &observations.Aggregate{
-		Levels:   []observations.OverloadLevel{{EndpointSet: "pool", Level: 0.5, Load: 0.25, Requests: 1200, Failed: 130}},
+	aggregate := &observations.Aggregate{
+		Levels: []observations.OverloadLevel{
+			{EndpointSet: "pool", Level: 0.5, Load: 0.25, Requests: 1200, Failed: 130},
+		},
 		Members:  9,
 		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, AvoidProbability: 0.95}},
 	}
-	words := map[string]coordination.Message{
-		"lease-ask": {Lease: &lease.Message{Kind: lease.VoteRequest, Incarnation: term.Incarnation, Round: 17}},
-		"lease-yes": {Lease: &lease.Message{Kind: lease.VoteGranted, Incarnation: term.Incarnation, Round: 17}},
-		"lease-no": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: term.Incarnation, Round: 17, Holder: "instance-2",
-			Remaining: 1_234_567}},
-		"lease-drop":       {Lease: &lease.Message{Kind: lease.VoteReleased, Incarnation: term.Incarnation, Round: 17}},
-		"quota-ask":        {Request: ask, Observations: seen},
+	vote := func(kind lease.MessageKind) *lease.Message {
+		return &lease.Message{Kind: kind, Incarnation: term.Incarnation, Round: 17}
+	}
+	denied := vote(lease.VoteDenied)
+	denied.Holder = "instance-2"
+	denied.Remaining = 1_234_567
+	messages := map[string]coordination.Message{
+		"lease-ask":        {Lease: vote(lease.VoteRequest)},
+		"lease-yes":        {Lease: vote(lease.VoteGranted)},
+		"lease-no":         {Lease: denied},
+		"lease-drop":       {Lease: vote(lease.VoteReleased)},
+		"quota-ask":        {Request: request, Observations: observed},
 		"quota-ask-empty":  {Request: &quota.LeaseRequest{Incarnation: 1, Sequence: 1}},
-		"quota-grant":      {Grant: grant, Aggregate: all},
+		"quota-grant":      {Grant: grant, Aggregate: aggregate},
 		"quota-grant-none": {Grant: &quota.Grant{Incarnation: 1, Sequence: 1, Term: term}},
-		"all-parts": {Lease: &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3}, Request: ask, Observations: seen,
-			Grant: grant, Aggregate: all},
+		"all-parts": {
+			Lease:        &lease.Message{Kind: lease.VoteDenied, Incarnation: 1, Round: 2, Holder: "a", Remaining: 3},
+			Request:      request,
+			Observations: observed,
+			Grant:        grant,
+			Aggregate:    aggregate,
+		},
 	}
+	raft := &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}
 	envelopes := map[string]envelope{
-		"consensus": {From: "instance-1", To: "instance-2", Consensus: &consensus.Message{Raft: []byte{1, 2, 3}, Leader: "instance-0"}},
+		"consensus": {From: "instance-1", To: "instance-2", Consensus: raft},
 	}
-	for name, w := range words {
-		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Message: w}
+	for name, m := range messages {
+		envelopes[name] = envelope{From: "instance-1", To: "instance-2", Message: m}
 	}
 	return envelopes
 }
@@ -87,21 +102,22 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if want := readGolden(t, filepath.Join("messages", name+".cbor")); !bytes.Equal(encoded, want) {
+			want := readGolden(t, filepath.Join("messages", name+".cbor"))
+			if !bytes.Equal(encoded, want) {
 				t.Errorf("encoded as %x, want %x", encoded, want)
 			}
 			if e.Consensus != nil {
 				return
 			}
 			encoded, err = Encode(e.From, e.To, e.Message)
-			if want := readGolden(t, filepath.Join("messages", name+".cbor")); err != nil || !bytes.Equal(encoded, want) {
+			if err != nil || !bytes.Equal(encoded, want) {
 				t.Errorf("Encode returns %x, %v, want %x", encoded, err, want)
 			}
 		})
 	}
 }
 
-// A field that is added to a message without a value here would go untested.
+// A message field without a value here would go untested.
 func TestGoldenMessagesFillEachField(t *testing.T) {
 	requireFilled(t, "envelope", reflect.ValueOf(goldenEnvelopes()["all-parts"].Message))
 }
@@ -133,7 +149,9 @@
 // Operators' tools read the forms of members and figures as JSON.
 func TestJSONForOperatorsKeepsItsForm(t *testing.T) {
 	for name, v := range map[string]any{
-		"member.json":  Member{Name: "instance-1", Address: "127.0.0.1:7", Alive: true, Since: time.Unix(1_700_000_000, 0).UTC()},
+		"member.json": Member{
+			Name: "instance-1", Address: "127.0.0.1:7", Alive: true, Since: time.Unix(1_700_000_000, 0).UTC(),
+		},
 		"figures.json": Stats{Sent: 1, Received: 2, Bytes: 3, Dropped: 4, Malformed: 5},
 	} {
 		encoded, err := json.Marshal(v)
--- a/internal/peers/membership.go
+++ b/internal/peers/membership.go
@@ -1,65 +1,76 @@
 package peers
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 )
 
-// join asks to be let in by those who are not known, now and then: nobody else does after a start, or after a split that lasted.
+// joinInterval is how often the addresses of Options.Join at which no live instance is known are joined again. After a
+// start, or a partition that lasted, nobody else brings the instances together.
+const joinInterval = 2 * time.Second
+
+// joinMissing joins the others until Close.
 func (p *Peers) joinMissing() {
 	if len(p.options.Join) == 0 {
 		return
 	}
-	turn := time.NewTimer(0)
-	defer turn.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
-		case <-turn.C:
+		case <-timer.C:
 		case <-p.closing:
 			return
 		}
 		if missing := p.missingAddresses(); len(missing) > 0 {
 			if _, err := p.list.Join(missing); err != nil {
-				p.options.Log.Debug("not let in", "error", err)
+				p.options.Log.Debug("gossip join failed", "error", err)
 			}
 		}
-		turn.Reset(joinInterval)
+		timer.Reset(joinInterval)
 	}
 }
 
-// missing returns the addresses of Join at which nobody is known to be alive.
-func (p *Peers) missingAddresses() (all []string) {
+// missingAddresses returns the addresses of Options.Join at which no live instance is known.
+func (p *Peers) missingAddresses() (missing []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, addr := range p.options.Join {
-		if addr != p.options.Address && !slices.ContainsFunc(slices.Collect(maps.Values(p.members)), func(m *Member) bool { return m.Alive && m.Address == addr }) {
-			all = append(all, addr)
+	for _, address := range p.options.Join {
+		if address != p.options.Address && !p.aliveAt(address) {
+			missing = append(missing, address)
 		}
 	}
-	return all
+	return missing
 }
 
-// ---- What the library tells --------------------------------------------------
+// aliveAt reports whether a live instance is known at an address. The caller holds p.mu.
+func (p *Peers) aliveAt(address string) bool {
+	for _, m := range p.members {
+		if m.Alive && m.Address == address {
+			return true
+		}
+	}
+	return false
+}
 
+// delegate implements memberlist.Delegate and memberlist.EventDelegate.
 type delegate Peers
 
-// NodeMeta is nothing.
+// NodeMeta implements memberlist.Delegate; there is no metadata.
 func (d *delegate) NodeMeta(int) []byte { return nil }
 
-// NotifyMsg takes a word in. It must not wait.
-func (d *delegate) NotifyMsg(text []byte) {
-	var e envelope
-	if len(text) > maxMessageBytes || decoding.Unmarshal(text, &e) != nil {
+// NotifyMsg implements memberlist.Delegate: it queues a received message. It must not block.
+func (d *delegate) NotifyMsg(encoded []byte) {
+	e, ok := decode(encoded)
+	if !ok {
 		d.malformedCount.Add(1)
 		return
 	}
 	if e.To != d.options.Name {
-		return // it was for another, whose address this was
+		return // for an instance that had this address before
 	}
-	d.receivedCount.Add(1) // first: who hears it may look at the figures
+	d.receivedCount.Add(1) // before the handler is called, which may look at Stats
 	select {
 	case d.received <- e:
 	default:
@@ -68,24 +79,25 @@
 	}
 }
 
-// GetBroadcasts has nothing.
+// GetBroadcasts implements memberlist.Delegate; there are none.
 func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
 
-// LocalState is nothing.
+// LocalState implements memberlist.Delegate; there is none.
 func (d *delegate) LocalState(bool) []byte { return nil }
 
-// MergeRemoteState takes nothing.
+// MergeRemoteState implements memberlist.Delegate; there is none.
 func (d *delegate) MergeRemoteState([]byte, bool) {}
 
-// NotifyJoin notes an instance.
+// NotifyJoin implements memberlist.EventDelegate.
 func (d *delegate) NotifyJoin(n *memberlist.Node) { d.recordMember(n, true) }
 
-// NotifyUpdate notes where it is.
+// NotifyUpdate implements memberlist.EventDelegate.
 func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.recordMember(n, true) }
 
-// NotifyLeave notes that it is gone, or taken for that.
+// NotifyLeave implements memberlist.EventDelegate: the instance has left, or is taken for dead.
 func (d *delegate) NotifyLeave(n *memberlist.Node) { d.recordMember(n, false) }
 
+// recordMember records the address and state of an instance.
 func (d *delegate) recordMember(n *memberlist.Node, alive bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -95,10 +107,12 @@
 		d.members[n.Name] = m
 	}
 	m.Address = n.Address()
-	if m.Alive != alive || m.Since.IsZero() {
-		m.Alive, m.Since = alive, time.Now()
-		if n.Name != d.options.Name {
-			d.options.Log.Info("instance of the fleet", "name", n.Name, "address", m.Address, "alive", alive)
-		}
+	if m.Alive == alive && !m.Since.IsZero() {
+		return
+	}
+	m.Alive = alive
+	m.Since = time.Now()
+	if n.Name != d.options.Name {
+		d.options.Log.Info("fleet member changed", "name", n.Name, "address", m.Address, "alive", alive)
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,7 +1,13 @@
-// Package peers carries words between the instances of a fleet: it finds the others and hears of their end by
-// hashicorp/memberlist (SWIM: Das, Gupta, Motivala 2002, with Lifeguard: Dadgar, Phillips, Currey 2017), and sends words as that
-// library's user messages, in CBOR (RFC 8949). A word may be lost, late, doubled or out of order: who says it counts on nothing.
-// It decides nothing, and may not know engines or what words mean. What a list of endpoints comes from is package endpointsource's.
+// Package peers carries messages between the instances of a fleet. It finds the other instances and detects their
+// failure by gossip with hashicorp/memberlist (SWIM: Das, Gupta, Motivala, 2002, with Lifeguard: Dadgar, Phillips,
+// Currey, 2017), and sends messages as that library's user messages, in CBOR (RFC 8949): datagrams where they fit,
+// else a TCP stream.
+//
+// A message may be lost, delayed, duplicated or reordered; senders must not rely on its arrival. Instances of different
+// fleets (Options.Fleet) do not hear of each other.
+//
+// The package decides nothing. It must not know about engines or what messages mean: package coordination and package
+// consensus handle them. Where an instance's own endpoint lists come from is up to package endpointsource.
 package peers
 
 import (
@@ -21,105 +27,143 @@
 	"dunlinsail/internal/decide/coordination"
 )
 
-// Options are what an instance needs to be among others.
+const (
+	// queueCapacity is how many messages wait to be delivered, and how many to be sent. Beyond that they are dropped.
+	queueCapacity = 4096
+	// leaveTimeout bounds how long Close waits for the others to learn that this instance leaves.
+	leaveTimeout = 500 * time.Millisecond
+	// reclaimTime is after how long the name of a dead instance may come back at another address.
+	reclaimTime = time.Second
+	// tcpTimeout bounds connecting, reading and writing of memberlist's streams.
+	tcpTimeout = 2 * time.Second
+)
+
+// Options configure an instance's part in the gossip.
 type Options struct {
-	Name          string
-	Fleet         string            // of another name is another fleet: nothing passes between them
-	Address       string            // host:port, UDP and TCP
-	Join          []string          // addresses of some others
-	DialVia       map[string]string // where an address is reached from here, if not there
-	Log           *slog.Logger
-	HandleMessage func(from string, w coordination.Message) // is called with one word at a time; may wait
-	// HandleConsensus is the same for messages of package consensus; nil is that this instance takes no part in it.
-	HandleConsensus func(from string, w consensus.Message)
+	Name    string            // of this instance, unique in the fleet
+	Fleet   string            // only instances of the same fleet hear of each other
+	Address string            // host:port to listen at, by UDP and TCP
+	Join    []string          // addresses of some other instances
+	DialVia map[string]string // addresses that are reached at another one from here
+	Log     *slog.Logger
+
+	// HandleMessage handles received messages, one at a time. It may block.
+	HandleMessage func(from string, m coordination.Message)
+	// HandleConsensus handles those of package consensus likewise. If nil, they are discarded.
+	HandleConsensus func(from string, m consensus.Message)
 }
 
-// Member is an instance, as far as is known here.
+// Member is an instance of the fleet, as far as is known here. Its tags are the names in the JSON that operators' tools
+// read.
 type Member struct {
 	Name    string    `json:"Name"`
 	Address string    `json:"Address"`
 	Alive   bool      `json:"Alive"`
-	Since   time.Time `json:"Since"` // it is so
+	Since   time.Time `json:"Since"` // when Alive changed
+}
+
+// Stats are counters of messages since Start. Its tags are the names in the JSON that operators' tools read.
+type Stats struct {
+	Sent      uint64 `json:"Sent"`
+	Received  uint64 `json:"Heard"`
+	Bytes     uint64 `json:"Bytes"`   // of the messages sent
+	Dropped   uint64 `json:"Dropped"` // a queue was full, or the recipient was not known
+	Malformed uint64 `json:"Spoilt"`  // received ones that could not be decoded
 }
 
-// Peers is an instance's place among the others. Its methods may be called from many goroutines.
+// Peers is a running instance's part in the gossip. Create one with Start; Close ends its goroutines. It is safe for
+// concurrent use.
 type Peers struct {
 	options  Options
 	list     *memberlist.Memberlist
 	received chan envelope
 	outgoing chan outgoing
-	closing  chan struct{}
+	closing  chan struct{} // closed by Close
 	workers  sync.WaitGroup
 
 	mu      sync.Mutex
-	members map[string]*Member
+	members map[string]*Member // by name, this instance included
 
-	sentCount, receivedCount, sentBytes, droppedCount, malformedCount atomic.Uint64
+	sentCount      atomic.Uint64
+	receivedCount  atomic.Uint64
+	sentBytes      atomic.Uint64
+	droppedCount   atomic.Uint64
+	malformedCount atomic.Uint64
 }
 
-const (
-	// waiting is how many words wait for their turn, in and out; beyond that they are lost, as on any way.
-	queueCapacity = 4096
-	// packetMost is the largest word that goes as a datagram: with the library's own head it stays within an Ethernet frame.
-	maxDatagramBytes = 1300
-	// wordMost bounds a word that comes, and what is in it.
-	maxMessageBytes = 64 << 10
-	maxItems        = 4096
-	// again is how often those of Join that are not known are asked to let this instance in: after a split nobody else would.
-	joinInterval = 2 * time.Second
-	// leaveFor is how long telling the others of the end may take.
-	leaveTimeout = 500 * time.Millisecond
-)
-
-// Start has an instance be among the others, or returns the error of an address that cannot be had. That nobody else is there
-// is none.
+// Start has an instance take part in the gossip. It returns an error if the address is malformed or cannot be listened
+// at; that no other instance can be reached is none.
 func Start(o Options) (*Peers, error) {
-	host, port, err := net.SplitHostPort(o.Address)
-	if err != nil {
+	p := &Peers{
+		options:  o,
+		received: make(chan envelope, queueCapacity),
+		outgoing: make(chan outgoing, queueCapacity),
+		closing:  make(chan struct{}),
+		members:  map[string]*Member{},
+	}
+	if err := p.listen(); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	n, err := strconv.Atoi(port)
+	p.workers.Go(p.deliverReceived)
+	p.workers.Go(p.transmitQueued)
+	p.workers.Go(p.joinMissing)
+	return p, nil
+}
+
+// listen creates the memberlist.
+func (p *Peers) listen() error {
+	host, portText, err := net.SplitHostPort(p.options.Address)
 	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+		return err
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return err
 	}
-	p := &Peers{options: o, received: make(chan envelope, queueCapacity), outgoing: make(chan outgoing, queueCapacity), closing: make(chan struct{}), members: map[string]*Member{}}
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Label = o.Name, o.Fleet
-	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = host, n, host, n
-	c.Logger = slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)
-	c.Delegate, c.Events = (*delegate)(p), (*delegate)(p)
-	c.DeadNodeReclaimTime = time.Second // a process that starts anew in another's place may come at another address
-	c.TCPTimeout = 2 * time.Second
-	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: n, Logger: c.Logger})
+	c.Name = p.options.Name
+	c.Label = p.options.Fleet
+	c.BindAddr = host
+	c.BindPort = port
+	c.AdvertiseAddr = host
+	c.AdvertisePort = port
+	c.Logger = slog.NewLogLogger(p.options.Log.Handler(), slog.LevelDebug)
+	c.Delegate = (*delegate)(p)
+	c.Events = (*delegate)(p)
+	c.DeadNodeReclaimTime = reclaimTime
+	c.TCPTimeout = tcpTimeout
+	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+		BindAddrs: []string{host},
+		BindPort:  port,
+		Logger:    c.Logger,
+	})
 	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+		return err
 	}
-	c.Transport = &transport{net, o.DialVia}
+	c.Transport = &transport{netTransport, p.options.DialVia}
 	if p.list, err = memberlist.Create(c); err != nil {
-		net.Shutdown()
-		return nil, fmt.Errorf("peers: %w", err)
+		netTransport.Shutdown()
+		return err
 	}
-	p.workers.Go(p.deliverReceived)
-	p.workers.Go(p.transmitQueued)
-	p.workers.Go(p.joinMissing)
-	return p, nil
+	return nil
 }
 
-// Close ends the instance's part. With leave the others are told; without, another process takes its place at once.
-func (p *Peers) Close(leave bool) {
+// Close ends the instance's part and waits for its goroutines. With announce the others learn that it leaves;
+// without, a successor takes its place at once.
+func (p *Peers) Close(announce bool) {
 	close(p.closing)
-	if leave {
+	if announce {
 		if err := p.list.Leave(leaveTimeout); err != nil {
-			p.options.Log.Info("not all others have heard that this instance leaves", "error", err)
+			p.options.Log.Info("leave not acknowledged by all members", "error", err)
 		}
 	}
 	if err := p.list.Shutdown(); err != nil {
-		p.options.Log.Warn("peers", "error", err)
+		p.options.Log.Warn("gossip shutdown failed", "error", err)
 	}
 	p.workers.Wait()
 }
 
-// Members returns the instances that are known, by name.
+// Members returns the instances that are known, dead ones included, sorted by name.
 func (p *Peers) Members() (all []Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,16 +174,13 @@
 	return all
 }
 
-// Figures are what the words come to.
-type Stats struct {
-	Sent      uint64 `json:"Sent"`
-	Received  uint64 `json:"Heard"`
-	Bytes     uint64 `json:"Bytes"`
-	Dropped   uint64 `json:"Dropped"`
-	Malformed uint64 `json:"Spoilt"`
-}
-
-// Figures returns them.
+// Stats returns the counters.
 func (p *Peers) Stats() Stats {
-	return Stats{p.sentCount.Load(), p.receivedCount.Load(), p.sentBytes.Load(), p.droppedCount.Load(), p.malformedCount.Load()}
+	return Stats{
+		Sent:      p.sentCount.Load(),
+		Received:  p.receivedCount.Load(),
+		Bytes:     p.sentBytes.Load(),
+		Dropped:   p.droppedCount.Load(),
+		Malformed: p.malformedCount.Load(),
+	}
 }
--- a/internal/peers/queue.go
+++ b/internal/peers/queue.go
@@ -10,18 +10,23 @@
 	"dunlinsail/internal/decide/coordination"
 )
 
+// maxDatagramBytes is the largest message that is sent as a datagram: with memberlist's own head it stays within an
+// Ethernet frame.
+const maxDatagramBytes = 1300
+
+// outgoing is a message that waits to be sent.
 type outgoing struct {
 	to        string
 	message   coordination.Message
 	consensus *consensus.Message
 }
 
-// Tell sends a word to an instance by its name. It never waits; whether it comes is not known.
-func (p *Peers) Send(to string, w coordination.Message) { p.enqueue(outgoing{to: to, message: w}) }
+// Send sends a message to an instance by its name. It never blocks, and does not report whether the message arrives.
+func (p *Peers) Send(to string, m coordination.Message) { p.enqueue(outgoing{to: to, message: m}) }
 
-// SendConsensus sends a message of package consensus to an instance.
-func (p *Peers) SendConsensus(to string, w consensus.Message) {
-	p.enqueue(outgoing{to: to, consensus: &w})
+// SendConsensus sends a message of package consensus likewise.
+func (p *Peers) SendConsensus(to string, m consensus.Message) {
+	p.enqueue(outgoing{to: to, consensus: &m})
 }
 
 func (p *Peers) enqueue(o outgoing) {
@@ -32,7 +37,7 @@
 	}
 }
 
-// hear hands words over.
+// deliverReceived calls the handlers of received messages until Close.
 func (p *Peers) deliverReceived() {
 	for {
 		select {
@@ -49,56 +54,69 @@
 	}
 }
 
-// send sends words.
+// transmitQueued sends queued messages until Close, and then those that were queued before.
 func (p *Peers) transmitQueued() {
 	for {
 		select {
 		case o := <-p.outgoing:
 			p.transmit(o)
 		case <-p.closing:
-			for { // what was said before the end is still sent
-				select {
-				case o := <-p.outgoing:
-					p.transmit(o)
-				default:
-					return
-				}
-			}
+			p.transmitRest()
+			return
 		}
 	}
 }
 
-func (p *Peers) transmit(o outgoing) {
-	p.mu.Lock()
-	m, address := p.members[o.to], "" // one that is taken for dead, too: it may only be the way back that is cut
-	if m != nil {
-		address = m.Address // it may move while this is sent
+func (p *Peers) transmitRest() {
+	for {
+		select {
+		case o := <-p.outgoing:
+			p.transmit(o)
+		default:
+			return
+		}
 	}
-	p.mu.Unlock()
-	if m == nil {
+}
+
+// transmit sends a message as a datagram or, if it is too large, by TCP in a goroutine of its own.
+func (p *Peers) transmit(o outgoing) {
+	address, known := p.addressOf(o.to)
+	if !known {
 		p.droppedCount.Add(1)
 		return
 	}
-	text, err := encoding.Marshal(envelope{p.options.Name, o.to, o.message, o.consensus})
+	encoded, err := encoding.Marshal(envelope{p.options.Name, o.to, o.message, o.consensus})
 	if err != nil {
-		p.options.Log.Error("a word that has no form", "error", err)
+		p.options.Log.Error("gossip message encoding failed", "error", err)
 		return
 	}
 	p.sentCount.Add(1)
-	p.sentBytes.Add(uint64(len(text)))
-	to := memberlist.Address{Addr: address, Name: o.to}
-	if len(text) <= maxDatagramBytes {
-		if err := p.list.SendToAddress(to, text); err != nil {
-			p.options.Log.Debug("word not sent", "to", o.to, "error", err)
-		}
+	p.sentBytes.Add(uint64(len(encoded)))
+	if len(encoded) <= maxDatagramBytes {
+		to := memberlist.Address{Addr: address, Name: o.to}
+		p.logUnsent(o.to, p.list.SendToAddress(to, encoded))
 		return
 	}
-	host, port, _ := net.SplitHostPort(address)
-	n, _ := strconv.Atoi(port)
-	node := &memberlist.Node{Name: o.to, Addr: net.ParseIP(host), Port: uint16(n)}
-	p.workers.Go(func() {
-		if err := p.list.SendReliable(node, text); err != nil {
-			p.options.Log.Debug("word not sent", "to", o.to, "error", err)
-		}
-	})
+	host, portText, _ := net.SplitHostPort(address)
+	port, _ := strconv.Atoi(portText)
+	node := &memberlist.Node{Name: o.to, Addr: net.ParseIP(host), Port: uint16(port)}
+	p.workers.Go(func() { p.logUnsent(o.to, p.list.SendReliable(node, encoded)) })
+}
+
+func (p *Peers) logUnsent(to string, err error) {
+	if err != nil {
+		p.options.Log.Debug("gossip message not sent", "to", to, "error", err)
+	}
+}
+
+// addressOf returns the address of an instance by its name. One that is taken for dead has an address, too: it may be
+// that only the way back is cut.
+func (p *Peers) addressOf(name string) (address string, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[name]
+	if m == nil {
+		return "", false
+	}
+	return m.Address, true
 }
--- a/internal/peers/transport.go
+++ b/internal/peers/transport.go
@@ -7,38 +7,37 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// ---- Ways ------------------------------------------------------------------
-
-// transport is the library's, with addresses that are reached elsewhere.
+// transport is memberlist's own, but for addresses that are reached at another one (Options.DialVia).
 type transport struct {
 	*memberlist.NetTransport
-	via map[string]string
+	dialVia map[string]string
 }
 
-func (t *transport) dialAddress(addr string) string {
-	if via, ok := t.via[addr]; ok {
+// dialAddress returns where an address is reached.
+func (t *transport) dialAddress(address string) string {
+	if via, ok := t.dialVia[address]; ok {
 		return via
 	}
-	return addr
+	return address
 }
 
-// WriteTo sends a datagram.
-func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
-	return t.NetTransport.WriteTo(b, t.dialAddress(addr))
+// WriteTo implements memberlist.Transport.
+func (t *transport) WriteTo(b []byte, address string) (time.Time, error) {
+	return t.NetTransport.WriteTo(b, t.dialAddress(address))
 }
 
-// WriteToAddress sends a datagram.
+// WriteToAddress implements memberlist.NodeAwareTransport.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	a.Addr = t.dialAddress(a.Addr)
 	return t.NetTransport.WriteToAddress(b, a)
 }
 
-// DialTimeout connects.
-func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	return t.NetTransport.DialTimeout(t.dialAddress(addr), timeout)
+// DialTimeout implements memberlist.Transport.
+func (t *transport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	return t.NetTransport.DialTimeout(t.dialAddress(address), timeout)
 }
 
-// DialAddressTimeout connects.
+// DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	a.Addr = t.dialAddress(a.Addr)
 	return t.NetTransport.DialAddressTimeout(a, timeout)
