Lint findings of the balancer mended

Parameters and results that nothing reads go: the instant of reject, the recorder of trainedBalancer, the policy of a test's count; two conversions of a value to its own type as well.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -71,7 +71,7 @@
 	}
 	b.meanWork.add(r.work, 0.02)
 	if now >= in.Deadline || b.openRequests > b.settings.Limits.MaxOpenRequests {
-		b.reject(now, r)
+		b.reject(r)
 		return
 	}
 	if !b.queueUntilProbed(now, r) {
@@ -84,7 +84,7 @@
 	sent := b.attemptRequest(now, r, true)
 	b.rejectedRatio.add(indicator(!sent), ratioWeight)
 	if !sent {
-		b.reject(now, r)
+		b.reject(r)
 	}
 }
 
--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -52,7 +52,7 @@
 	timeout := float64(b.classOf(r).ClientTimeout)
 	chance := max(e.breaker.errorRejectChance(now), e.breaker.latencyRejectChance(timeout))
 	suspicion := e.suspicion(int(r.Class))
-	interval := monotime.Micros(forcedPassInterval)
+	interval := forcedPassInterval
 	if suspicion > chance {
 		interval = b.suspectTrialInterval()
 	}
--- a/balancer/cordon_test.go
+++ b/balancer/cordon_test.go
@@ -1,10 +1,6 @@
 package balancer
 
-import (
-	"testing"
-
-	"dunlinsail/internal/monotime"
-)
+import "testing"
 
 // An endpoint whose cordon ends counts as restarted: it gets no more than a warming one may, also where the list still
 // has its old start time, and nothing that was learned of the earlier process is used.
@@ -18,7 +14,7 @@
 	if !b.ShouldAvoid(2000, 1) {
 		t.Error("a cordoned endpoint does not count as avoided")
 	}
-	now := monotime.Micros(60 * second)
+	now := 60 * second
 	b.SetCordon(now, 1, false)
 	b.UpdateEndpoints(now, ListDelta, readyEndpoints(1))
 	if e != b.endpointsByID[1] || !e.warmingUp(now, b) ||
--- a/balancer/learned_test.go
+++ b/balancer/learned_test.go
@@ -11,7 +11,7 @@
 )
 
 // trainedBalancer returns a balancer after a mixed minute: slow, failing and warming endpoints among others.
-func trainedBalancer(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder, monotime.Micros) {
+func trainedBalancer(t *testing.T, s Settings, list []Endpoint) (*Balancer, monotime.Micros) {
 	t.Helper()
 	b, r := startBalancer(t, s, list)
 	rng := rand.New(rand.NewPCG(4, 4))
@@ -39,7 +39,7 @@
 			b.HandleProbe(now, uint32(1+id/50%6), OK, 400, []float32{float32(id % 7)})
 		}
 	}
-	return b, r, now
+	return b, now
 }
 
 func withTenants(s Settings) Settings {
@@ -50,7 +50,7 @@
 // What one balancer has learned, its successor uses, at another origin of time.
 func TestLearnedStateIsRestored(t *testing.T) {
 	s := withTenants(testSettings())
-	old, _, now := trainedBalancer(t, s, readyEndpoints(6))
+	old, now := trainedBalancer(t, s, readyEndpoints(6))
 	text, err := json.Marshal(old.LearnedState(now))
 	if err != nil {
 		t.Fatal(err)
@@ -221,7 +221,7 @@
 // What was learned of an endpoint is not used for a later process of it.
 func TestRestartedEndpointStartsAnew(t *testing.T) {
 	s := withTenants(testSettings())
-	old, _, now := trainedBalancer(t, s, readyEndpoints(6))
+	old, now := trainedBalancer(t, s, readyEndpoints(6))
 	l := old.LearnedState(now)
 	next, _ := startBalancer(t, s, readyEndpoints(6))
 	next.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Zone: 1, Cell: 1, StartTime: now - 1}})
--- a/balancer/overload_test.go
+++ b/balancer/overload_test.go
@@ -86,7 +86,7 @@
 // Where every endpoint is full, one request of a class is admitted against its limit in the interval of the policy, not
 // one a second; and how soon the first is differs between balancers that start at once.
 func TestOverloadPolicySetsForcedAdmitInterval(t *testing.T) {
-	count := func(to *OverloadPolicy, b *Balancer, r *recorder) int {
+	count := func(b *Balancer, r *recorder) int {
 		for id := range uint32(3) {
 			b.HandleProbe(1000, id+1, OK, 500, []float32{10_000})
 		}
@@ -105,10 +105,10 @@
 	}
 	b, r, to := withOverloadPolicy(t)
 	to.RetryAllowed = false
-	some := count(to, b, r)
+	some := count(b, r)
 	b, r, _ = withOverloadPolicy(t)
 	b.SetOverloadPolicy(nil)
-	if all := count(nil, b, r); some > 1 || all < 10 {
+	if all := count(b, r); some > 1 || all < 10 {
 		t.Errorf("%d requests passed within 20 s, of one in 100 s; without a policy %d, of one a second", some, all)
 	}
 }
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -134,7 +134,7 @@
 }
 
 // reject gives the final answer "rejected" where that is true, else "failed".
-func (b *Balancer) reject(now monotime.Micros, r *request) {
+func (b *Balancer) reject(r *request) {
 	if r.finished || !b.mayReject(r) {
 		b.failRequest(r)
 		return
@@ -171,7 +171,7 @@
 	if r.queued {
 		b.dispatchQueued(now)
 	} else if now >= r.Deadline {
-		b.reject(now, r)
+		b.reject(r)
 	}
 }
 
@@ -218,7 +218,7 @@
 		b.recentRetries.add(b.retrySlot(now))
 		return
 	}
-	b.reject(now, r)
+	b.reject(r)
 }
 
 // mayRetry says whether the retry budget has one left.
