--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -434,7 +434,7 @@
 	}
 	c.Text = text
 	c.fill()
-	k := &check{stricttoml.Check{Lines: lines}}
+	k := &check{stricttoml.Validation{Lines: lines}}
 	k.config(&c)
 	if err := k.Err(); err != nil {
 		return nil, err
@@ -486,7 +486,7 @@
 }
 
 // check gathers what is wrong.
-type check struct{ stricttoml.Check }
+type check struct{ stricttoml.Validation }
 
 const (
 	ownDescriptors   = 32 // neither clients' nor endpoints': streams, listeners, the runtime, discovery, takeover
@@ -496,28 +496,28 @@
 
 func (k *check) config(c *Config) {
 	p := &c.Process
-	k.That(p.Cores >= 0, "process.cores", "%d is negative", p.Cores)
-	k.That(p.Memory.Bytes >= 16<<20, "process.memory", "under 16MiB nothing can be served")
-	k.That(p.Descriptors >= leastDescriptors, "process.descriptors", "%d is under %d", p.Descriptors, leastDescriptors)
+	k.Require(p.Cores >= 0, "process.cores", "%d is negative", p.Cores)
+	k.Require(p.Memory.Bytes >= 16<<20, "process.memory", "under 16MiB nothing can be served")
+	k.Require(p.Descriptors >= leastDescriptors, "process.descriptors", "%d is under %d", p.Descriptors, leastDescriptors)
 
 	k.routes(c)
-	k.That(len(c.Routes) > 0 || hostPort(c.Discovery.Address, 1), "discovery.address", "%q is no host:port with a port in 1..65535", c.Discovery.Address)
-	subscribe := stricttoml.Word(&k.Check, "discovery.mode", c.Discovery.Mode, map[string]bool{"watch": false, "ask": true})
+	k.Require(len(c.Routes) > 0 || hostPort(c.Discovery.Address, 1), "discovery.address", "%q is no host:port with a port in 1..65535", c.Discovery.Address)
+	subscribe := stricttoml.Enum(&k.Validation, "discovery.mode", c.Discovery.Mode, map[string]bool{"watch": false, "ask": true})
 
-	k.That(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
+	k.Require(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
 
 	host, _, _ := net.SplitHostPort(c.Operators.Address)
-	k.That(c.Operators.Address == "" || hostPort(c.Operators.Address, 1) && net.ParseIP(host).IsLoopback(), "operators.address", "%q is no host:port on loopback with a port in 1..65535", c.Operators.Address)
+	k.Require(c.Operators.Address == "" || hostPort(c.Operators.Address, 1) && net.ParseIP(host).IsLoopback(), "operators.address", "%q is no host:port on loopback with a port in 1..65535", c.Operators.Address)
 	k.record(&c.Record)
 	k.control(c)
 	k.connections(c)
 	k.peers(c)
 	k.work(c)
 	r := &c.Requests
-	k.That(r.Open >= 1, "requests.open", "%d: must be at least 1", r.Open)
-	k.That(r.InFlight >= 0, "requests.in_flight", "%d is negative", r.InFlight)
-	k.That(r.InFlightLeast >= 1, "requests.in_flight_least", "%d: must be at least 1", r.InFlightLeast)
-	k.That(r.InFlightMost >= r.InFlightLeast, "requests.in_flight_most", "%d is under in_flight_least, %d",
+	k.Require(r.Open >= 1, "requests.open", "%d: must be at least 1", r.Open)
+	k.Require(r.InFlight >= 0, "requests.in_flight", "%d is negative", r.InFlight)
+	k.Require(r.InFlightLeast >= 1, "requests.in_flight_least", "%d: must be at least 1", r.InFlightLeast)
+	k.Require(r.InFlightMost >= r.InFlightLeast, "requests.in_flight_most", "%d is under in_flight_least, %d",
 		r.InFlightMost, r.InFlightLeast)
 
 	k.clients(c)
@@ -525,76 +525,76 @@
 }
 
 func (k *check) record(r *Record) {
-	k.That(r.Dir == "" || strings.HasPrefix(r.Dir, "/"), "record.dir", "%q: must begin with /", r.Dir)
-	k.That(r.Dir == "" || r.Secret != "", "record.secret", "is missing: a file whose text keys and objects are hashed with")
-	k.That(r.Sample > 0 && r.Sample <= 1, "record.sample", "%v: must be over 0, to 1", r.Sample)
-	k.That(r.SegmentRows >= 100 && r.SegmentRows <= 1_000_000, "record.segment_rows", "%d: must be in 100..1000000", r.SegmentRows)
-	k.That(r.SegmentAge.Duration >= 100*time.Millisecond && r.SegmentAge.Duration <= time.Hour, "record.segment_age", "%v: must be in 100ms..1h", r.SegmentAge)
-	k.That(r.Keep.Bytes == 0 || r.Keep.Bytes >= 1<<20, "record.keep", "under 1MiB nothing is kept; \"0B\" is no bound")
+	k.Require(r.Dir == "" || strings.HasPrefix(r.Dir, "/"), "record.dir", "%q: must begin with /", r.Dir)
+	k.Require(r.Dir == "" || r.Secret != "", "record.secret", "is missing: a file whose text keys and objects are hashed with")
+	k.Require(r.Sample > 0 && r.Sample <= 1, "record.sample", "%v: must be over 0, to 1", r.Sample)
+	k.Require(r.SegmentRows >= 100 && r.SegmentRows <= 1_000_000, "record.segment_rows", "%d: must be in 100..1000000", r.SegmentRows)
+	k.Require(r.SegmentAge.Duration >= 100*time.Millisecond && r.SegmentAge.Duration <= time.Hour, "record.segment_age", "%v: must be in 100ms..1h", r.SegmentAge)
+	k.Require(r.Keep.Bytes == 0 || r.Keep.Bytes >= 1<<20, "record.keep", "under 1MiB nothing is kept; \"0B\" is no bound")
 }
 
 func (k *check) peers(c *Config) {
 	p := &c.Peers
 	seen := map[string]bool{}
 	for _, name := range p.Lenders {
-		k.That(name != "", "peers.lenders", "an empty name")
-		k.That(!seen[name], "peers.lenders", "%q is named twice", name)
+		k.Require(name != "", "peers.lenders", "an empty name")
+		k.Require(!seen[name], "peers.lenders", "%q is named twice", name)
 		seen[name] = true
 	}
 	for i, name := range p.Lends {
-		stricttoml.Word(&k.Check, "peers.lends", name, uses)
-		k.That(!slices.Contains(p.Lends[:i], name), "peers.lends", "%q is named twice", name)
+		stricttoml.Enum(&k.Validation, "peers.lends", name, uses)
+		k.Require(!slices.Contains(p.Lends[:i], name), "peers.lends", "%q is named twice", name)
 	}
 	for _, way := range p.Ways {
 		from, to, two := strings.Cut(way, "=")
-		k.That(two && hostPort(from, 1) && hostPort(to, 1), "peers.ways", "%q is not ADDRESS=VIA, each host:port", way)
+		k.Require(two && hostPort(from, 1) && hostPort(to, 1), "peers.ways", "%q is not ADDRESS=VIA, each host:port", way)
 	}
-	k.That(p.Ready >= 0 && p.Ready <= 1, "peers.ready", "%v: must be in 0..1", p.Ready)
-	k.That(p.Drift >= 0 && p.Drift <= 0.1, "peers.drift", "%v: must be in 0..0.1", p.Drift)
-	k.That(p.Every.Duration >= 10*time.Millisecond, "peers.every", "%v: must be at least 10ms", p.Every)
-	k.That(p.Loan.Duration >= 4*p.Every.Duration, "peers.loan", "%v: must be at least four times peers.every, or a lost word ends a loan", p.Loan)
-	k.That(p.Lease.Duration >= 2*p.Every.Duration, "peers.lease", "%v: must be at least twice peers.every", p.Lease)
+	k.Require(p.Ready >= 0 && p.Ready <= 1, "peers.ready", "%v: must be in 0..1", p.Ready)
+	k.Require(p.Drift >= 0 && p.Drift <= 0.1, "peers.drift", "%v: must be in 0..0.1", p.Drift)
+	k.Require(p.Every.Duration >= 10*time.Millisecond, "peers.every", "%v: must be at least 10ms", p.Every)
+	k.Require(p.Loan.Duration >= 4*p.Every.Duration, "peers.loan", "%v: must be at least four times peers.every, or a lost word ends a loan", p.Loan)
+	k.Require(p.Lease.Duration >= 2*p.Every.Duration, "peers.lease", "%v: must be at least twice peers.every", p.Lease)
 	if !p.On {
 		return
 	}
 	host, _, _ := net.SplitHostPort(p.Address)
 	ip := net.ParseIP(host)
-	k.That(ip != nil && hostPort(p.Address, 1), "peers.address", "%q is no address with a port in 1..65535", p.Address)
-	k.That(p.Beyond || ip == nil || ip.IsLoopback(), "peers.address", "%q is beyond loopback: peers.beyond_loopback says that this is meant", p.Address)
+	k.Require(ip != nil && hostPort(p.Address, 1), "peers.address", "%q is no address with a port in 1..65535", p.Address)
+	k.Require(p.Beyond || ip == nil || ip.IsLoopback(), "peers.address", "%q is beyond loopback: peers.beyond_loopback says that this is meant", p.Address)
 	for _, other := range p.Join {
-		k.That(hostPort(other, 1), "peers.join", "%q is no host:port with a port in 1..65535", other)
+		k.Require(hostPort(other, 1), "peers.join", "%q is no host:port with a port in 1..65535", other)
 	}
-	k.That(p.Fleet != "", "peers.fleet", "is missing")
-	k.That(len(p.Lenders)%2 == 1 && len(p.Lenders) <= 7, "peers.lenders", "must be 1, 3, 5 or 7 names of instances: a majority of them decides who lends")
-	k.That(len(p.Lends) > 0, "peers.lends", "is empty: nothing would be decided together")
-	k.That(c.Fleet.Instances >= len(p.Lenders), "fleet.instances", "%d is under the number of peers.lenders", c.Fleet.Instances)
+	k.Require(p.Fleet != "", "peers.fleet", "is missing")
+	k.Require(len(p.Lenders)%2 == 1 && len(p.Lenders) <= 7, "peers.lenders", "must be 1, 3, 5 or 7 names of instances: a majority of them decides who lends")
+	k.Require(len(p.Lends) > 0, "peers.lends", "is empty: nothing would be decided together")
+	k.Require(c.Fleet.Instances >= len(p.Lenders), "fleet.instances", "%d is under the number of peers.lenders", c.Fleet.Instances)
 	words := float64(c.Fleet.Instances) / p.Every.Seconds()
-	k.That(words <= wordsMost, "peers.every", "%v: %d instances would ask the one that lends %.0f times a second; %d are the most", p.Every, c.Fleet.Instances, words, wordsMost)
-	k.That(c.Overload.On || !slices.ContainsFunc(p.Lends, func(n string) bool { return n != "suspects" && n != "tenants" }), "peers.lends",
+	k.Require(words <= wordsMost, "peers.every", "%v: %d instances would ask the one that lends %.0f times a second; %d are the most", p.Every, c.Fleet.Instances, words, wordsMost)
+	k.Require(c.Overload.On || !slices.ContainsFunc(p.Lends, func(n string) bool { return n != "suspects" && n != "tenants" }), "peers.lends",
 		"further, probes and level are decided where overload.on is true")
 	for i, t := range c.Tenants {
-		k.That(t.Limit == 0 || slices.Contains(p.Lends, "tenants"), fmt.Sprintf("tenant.%d.limit", i), "%q has a limit over all instances: peers.lends must name \"tenants\"", t.Name)
+		k.Require(t.Limit == 0 || slices.Contains(p.Lends, "tenants"), fmt.Sprintf("tenant.%d.limit", i), "%q has a limit over all instances: peers.lends must name \"tenants\"", t.Name)
 	}
 }
 
 func (k *check) work(c *Config) {
 	w := &c.Work
-	k.That(w.Most >= 1 && w.Most <= 1000, "work.most", "%d: must be in 1..1000", w.Most)
+	k.Require(w.Most >= 1 && w.Most <= 1000, "work.most", "%d: must be in 1..1000", w.Most)
 	for key, v := range map[string]int{"zone": w.Zone, "cell": w.Cell, "machine": w.Kind} {
-		k.That(v >= 0, "work."+key, "%d is negative; 0 is no bound of its own", v)
+		k.Require(v >= 0, "work."+key, "%d is negative; 0 is no bound of its own", v)
 	}
-	k.That(w.Ahead >= w.Most, "work.ahead", "%d is under work.most, %d: what is out was told ahead", w.Ahead, w.Most)
-	k.That(w.Room >= 0 && w.Room < 1, "work.room", "%v: must be in 0..1, not 1", w.Room)
-	k.That(w.Lease.Duration >= 200*time.Millisecond, "work.lease", "%v: must be at least 200ms", w.Lease)
-	k.That(w.State == "" || strings.HasPrefix(w.State, "/"), "work.state", "%q: must begin with /", w.State)
+	k.Require(w.Ahead >= w.Most, "work.ahead", "%d is under work.most, %d: what is out was told ahead", w.Ahead, w.Most)
+	k.Require(w.Room >= 0 && w.Room < 1, "work.room", "%v: must be in 0..1, not 1", w.Room)
+	k.Require(w.Lease.Duration >= 200*time.Millisecond, "work.lease", "%v: must be at least 200ms", w.Lease)
+	k.Require(w.State == "" || strings.HasPrefix(w.State, "/"), "work.state", "%q: must begin with /", w.State)
 	if !w.On {
 		return
 	}
-	k.That(c.Peers.On, "peers.on", "is false: machines are taken out in an order that instances settle by words")
-	k.That(c.Operators.Address != "", "operators.address", "is missing: nobody could ask for work")
-	k.That(len(c.Peers.Lenders) != 1, "peers.lenders", "one alone settles nothing that outlives it: 3, 5 or 7 are needed")
-	k.That(slices.Contains(c.Peers.Lenders, c.Name) == (w.State != ""), "work.state", "is for the instances that peers.lenders names, and needed there")
-	k.That(c.Takeover.Socket == "" || c.Takeover.DrainWithin.Duration <= w.Lease.Duration+w.Quiet.Duration, "takeover.drain_within",
+	k.Require(c.Peers.On, "peers.on", "is false: machines are taken out in an order that instances settle by words")
+	k.Require(c.Operators.Address != "", "operators.address", "is missing: nobody could ask for work")
+	k.Require(len(c.Peers.Lenders) != 1, "peers.lenders", "one alone settles nothing that outlives it: 3, 5 or 7 are needed")
+	k.Require(slices.Contains(c.Peers.Lenders, c.Name) == (w.State != ""), "work.state", "is for the instances that peers.lenders names, and needed there")
+	k.Require(c.Takeover.Socket == "" || c.Takeover.DrainWithin.Duration <= w.Lease.Duration+w.Quiet.Duration, "takeover.drain_within",
 		"%v: a process that gives its place must be over by work.lease and work.quiet together, %v", c.Takeover.DrainWithin, w.Lease.Duration+w.Quiet.Duration)
 }
 
@@ -606,25 +606,25 @@
 	on := n.Address != ""
 	host, _, _ := net.SplitHostPort(n.Address)
 	ip := net.ParseIP(host)
-	k.That(!on || hostPort(n.Address, 1), "control.address", "%q is no host:port with a port in 1..65535", n.Address)
-	k.That(!on || n.State != "", "control.state", "is missing: a folder where the last good version is kept")
-	k.That(n.State == "" || strings.HasPrefix(n.State, "/"), "control.state", "%q: must begin with /", n.State)
-	k.That(!on || n.Plaintext || n.CA != "" && n.Cert != "" && n.Key != "", "control.ca", "ca, cert and key are needed: both sides must be vouched for")
-	k.That(!n.Plaintext || n.CA == "" && n.Cert == "" && n.Key == "", "control.plaintext", "means that there is no ca, cert or key")
-	k.That(!on || !n.Plaintext || ip != nil && ip.IsLoopback(), "control.plaintext", "is for a service on a loopback address only, not %q", n.Address)
-	k.That(n.Margin >= 0 && n.Margin < 1, "control.trial_margin", "%v: must be in 0..1, not 1", n.Margin)
-	k.That(n.Alpha > 0 && n.Alpha < 0.5, "control.trial_alpha", "%v: must be over 0, under 0.5", n.Alpha)
-	k.That(n.Trial.Duration == 0 || n.Trial.Duration >= time.Second, "control.trial", "%v: must be \"0s\" or at least 1s", n.Trial)
-	k.That(n.Gap.Duration >= 10*time.Millisecond, "control.gap", "%v: must be at least 10ms", n.Gap)
-	k.That(n.SizeMost.Bytes >= 4<<10 && n.SizeMost.Bytes <= 64<<20, "control.size_most", "must be in 4KiB..64MiB")
-	k.That(n.RetryMost.Duration >= 100*time.Millisecond, "control.retry_most", "%v: must be at least 100ms", n.RetryMost)
+	k.Require(!on || hostPort(n.Address, 1), "control.address", "%q is no host:port with a port in 1..65535", n.Address)
+	k.Require(!on || n.State != "", "control.state", "is missing: a folder where the last good version is kept")
+	k.Require(n.State == "" || strings.HasPrefix(n.State, "/"), "control.state", "%q: must begin with /", n.State)
+	k.Require(!on || n.Plaintext || n.CA != "" && n.Cert != "" && n.Key != "", "control.ca", "ca, cert and key are needed: both sides must be vouched for")
+	k.Require(!n.Plaintext || n.CA == "" && n.Cert == "" && n.Key == "", "control.plaintext", "means that there is no ca, cert or key")
+	k.Require(!on || !n.Plaintext || ip != nil && ip.IsLoopback(), "control.plaintext", "is for a service on a loopback address only, not %q", n.Address)
+	k.Require(n.Margin >= 0 && n.Margin < 1, "control.trial_margin", "%v: must be in 0..1, not 1", n.Margin)
+	k.Require(n.Alpha > 0 && n.Alpha < 0.5, "control.trial_alpha", "%v: must be over 0, under 0.5", n.Alpha)
+	k.Require(n.Trial.Duration == 0 || n.Trial.Duration >= time.Second, "control.trial", "%v: must be \"0s\" or at least 1s", n.Trial)
+	k.Require(n.Gap.Duration >= 10*time.Millisecond, "control.gap", "%v: must be at least 10ms", n.Gap)
+	k.Require(n.SizeMost.Bytes >= 4<<10 && n.SizeMost.Bytes <= 64<<20, "control.size_most", "must be in 4KiB..64MiB")
+	k.Require(n.RetryMost.Duration >= 100*time.Millisecond, "control.retry_most", "%v: must be at least 100ms", n.RetryMost)
 	kinds := Kinds()
 	for _, pin := range n.Pin {
 		kind, of, two := strings.Cut(pin, ".")
 		known, ok := kinds[kind]
-		k.That(ok, "control.pin", "%q: %q is no table that a version may hold", pin, kind)
+		k.Require(ok, "control.pin", "%q: %q is no table that a version may hold", pin, kind)
 		if ok && two && !known.List {
-			k.That(hasKey(known.Type, of), "control.pin", "%q: the table %s has no key %q", pin, kind, of)
+			k.Require(hasKey(known.Type, of), "control.pin", "%q: the table %s has no key %q", pin, kind, of)
 		}
 	}
 }
@@ -652,14 +652,14 @@
 	if n.AtRest == 0 {
 		n.AtRest = max(1, min(n.Clients, free/restPart))
 	}
-	k.That(n.Clients >= 1, "connections.clients", "%d: must be at least 1", n.Clients)
-	k.That(n.Endpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.Endpoints)
-	k.That(n.Clients+n.Endpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
+	k.Require(n.Clients >= 1, "connections.clients", "%d: must be at least 1", n.Clients)
+	k.Require(n.Endpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.Endpoints)
+	k.Require(n.Clients+n.Endpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
 		"process.descriptors leaves", n.Clients, n.Endpoints, free)
-	k.That(n.AtRest >= 1 && n.AtRest <= n.Clients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
+	k.Require(n.AtRest >= 1 && n.AtRest <= n.Clients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
 		n.AtRest, n.Clients)
-	k.That(n.RestMost.Duration > 0, "connections.rest_most", "must be positive")
-	k.That(n.RestLeast.Duration <= n.RestMost.Duration, "connections.rest_least", "%v is over rest_most, %v", n.RestLeast, n.RestMost)
+	k.Require(n.RestMost.Duration > 0, "connections.rest_most", "must be positive")
+	k.Require(n.RestLeast.Duration <= n.RestMost.Duration, "connections.rest_least", "%v is over rest_most, %v", n.RestLeast, n.RestMost)
 }
 
 func (k *check) clients(c *Config) {
@@ -668,14 +668,14 @@
 	for i := range c.Clients {
 		cl := &c.Clients[i]
 		at := func(key string) string { return fmt.Sprintf("client.%d.%s", i, key) }
-		k.That(cl.Name != "", at("name"), "is missing")
-		k.That(!names[cl.Name], at("name"), "%q is named twice", cl.Name)
+		k.Require(cl.Name != "", at("name"), "is missing")
+		k.Require(!names[cl.Name], at("name"), "%q is named twice", cl.Name)
 		names[cl.Name] = true
 		k.bounds(&cl.Bounds, at)
 		for of, ids := range map[string][]uint32{"uids": cl.UIDs, "gids": cl.GIDs} {
 			taken := map[string]map[uint32]string{"uids": uids, "gids": gids}[of]
 			for _, id := range ids {
-				k.That(taken[id] == "", at(of), "%d is client %q already", id, taken[id])
+				k.Require(taken[id] == "", at(of), "%d is client %q already", id, taken[id])
 				taken[id] = cl.Name
 			}
 		}
@@ -683,31 +683,31 @@
 	if c.Others != nil {
 		k.bounds(c.Others, func(key string) string { return "others." + key })
 	}
-	k.That(len(c.Listeners) > 0, "listener", "at least one is needed")
+	k.Require(len(c.Listeners) > 0, "listener", "at least one is needed")
 	listeners, addresses := map[string]bool{}, map[string]bool{}
 	for i := range c.Listeners {
 		l := &c.Listeners[i]
 		at := func(key string) string { return fmt.Sprintf("listener.%d.%s", i, key) }
-		k.That(l.Name != "", at("name"), "is missing")
-		k.That(!listeners[l.Name], at("name"), "%q is named twice", l.Name)
+		k.Require(l.Name != "", at("name"), "is missing")
+		k.Require(!listeners[l.Name], at("name"), "%q is named twice", l.Name)
 		listeners[l.Name] = true
-		k.That(!addresses[l.Address], at("address"), "%q is listened on twice", l.Address)
+		k.Require(!addresses[l.Address], at("address"), "%q is listened on twice", l.Address)
 		addresses[l.Address] = true
 		if network, address := l.Network(); network == "unix" {
-			k.That(strings.HasPrefix(address, "/"), at("address"), "%q: the path of a unix socket must begin with /", l.Address)
-			k.That(len(address) <= 107, at("address"), "the path of a unix socket has at most 107 bytes, not %d", len(address))
+			k.Require(strings.HasPrefix(address, "/"), at("address"), "%q: the path of a unix socket must begin with /", l.Address)
+			k.Require(len(address) <= 107, at("address"), "the path of a unix socket has at most 107 bytes, not %d", len(address))
 			if l.Mode.Bits == 0 {
 				l.Mode.Bits = 0o600
 			}
 		} else {
 			host, _, _ := net.SplitHostPort(address)
 			ip := net.ParseIP(host)
-			k.That(hostPort(address, 0) && ip != nil && ip.IsLoopback(), at("address"),
+			k.Require(hostPort(address, 0) && ip != nil && ip.IsLoopback(), at("address"),
 				"%q is neither a loopback address with a port up to 65535, as \"127.0.0.1:8080\", nor \"unix:/path\"", l.Address)
-			k.That(l.Mode.Bits == 0, at("mode"), "is for unix sockets only")
-			k.That(l.Client != "" || c.Others != nil, at("client"), "is missing, and there is no table others")
+			k.Require(l.Mode.Bits == 0, at("mode"), "is for unix sockets only")
+			k.Require(l.Client != "" || c.Others != nil, at("client"), "is missing, and there is no table others")
 		}
-		k.That(l.Client == "" || names[l.Client], at("client"), "no client is named %q", l.Client)
+		k.Require(l.Client == "" || names[l.Client], at("client"), "no client is named %q", l.Client)
 	}
 }
 
@@ -722,13 +722,13 @@
 	if b.Weight == 0 {
 		b.Weight = 1
 	}
-	k.That(b.Weight > 0 && !math.IsInf(b.Weight, 0), at("weight"), "%v: must be positive", b.Weight)
-	k.That(b.Connections >= 0, at("connections"), "%d is negative", b.Connections)
-	k.That(b.Open >= 0, at("open_requests"), "%d is negative", b.Open)
-	k.That(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
-	k.That(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
-	k.That(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
-	k.That(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.MaxBodyBytes, at("bytes_held"), "under %d a whole body does not fit", siteconfig.MaxBodyBytes)
+	k.Require(b.Weight > 0 && !math.IsInf(b.Weight, 0), at("weight"), "%v: must be positive", b.Weight)
+	k.Require(b.Connections >= 0, at("connections"), "%d is negative", b.Connections)
+	k.Require(b.Open >= 0, at("open_requests"), "%d is negative", b.Open)
+	k.Require(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
+	k.Require(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
+	k.Require(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
+	k.Require(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.MaxBodyBytes, at("bytes_held"), "under %d a whole body does not fit", siteconfig.MaxBodyBytes)
 }
 
 // fields are the figures of a load report by their names on the sockets (BENCH).
@@ -738,33 +738,33 @@
 // site makes the settings of the decisions, and checks them under the file's own names.
 func (k *check) site(c *Config, subscribe bool) {
 	f, a, ru, s := &c.Fleet, &c.Attempts, &c.Rules, &c.Site
-	k.That(f.Instances >= 1, "fleet.instances", "%d: must be at least 1", f.Instances)
-	k.That(f.Position >= 0 && f.Position < max(1, f.Instances), "fleet.position", "%d: must be in 0..%d", f.Position, f.Instances-1)
+	k.Require(f.Instances >= 1, "fleet.instances", "%d: must be at least 1", f.Instances)
+	k.Require(f.Position >= 0 && f.Position < max(1, f.Instances), "fleet.position", "%d: must be in 0..%d", f.Position, f.Instances-1)
 	zone := max(0, slices.Index(f.Zones, f.Zone))
-	k.That(f.Zone == "" && len(f.Zones) == 0 || slices.Contains(f.Zones, f.Zone), "fleet.zone", "%q is none of fleet.zones", f.Zone)
-	k.That(len(f.Zones) < 255, "fleet.zones", "at most 254")
-	k.That(len(f.Machines) < 255, "fleet.machines", "at most 254")
-	k.That(f.KeepAlive.Duration > 0, "fleet.keep_alive", "must be positive")
-	k.That(f.Subset >= 0 && f.Subset <= 1000, "fleet.subset", "%d: must be in 0..1000", f.Subset)
-	k.That(f.NodeIdle >= 0 && f.NodeIdle <= 1e6, "fleet.node_idle", "%v: must be in 0..1000000", f.NodeIdle)
-	k.That(f.NodeProbes >= 0 && f.NodeProbes <= 1e6, "fleet.node_probes", "%v: must be in 0..1000000", f.NodeProbes)
-	k.That(f.OverShareWorth >= 0 && f.OverShareWorth <= 1, "fleet.over_share_worth", "%v: must be in 0..1", f.OverShareWorth)
-	k.That(a.Most >= 1, "attempts.most", "%d: must be at least 1", a.Most)
-	k.That(a.RetryBudget > 0 && a.RetryBudget <= 10, "attempts.retry_budget", "%v: must be over 0, to 10; attempts.most = 1 is no retries", a.RetryBudget)
-	k.That(a.DialTimeout.Duration > 0, "attempts.dial_timeout", "must be positive")
-	k.That(ru.ColdFrom > 0 && ru.ColdFrom <= 1, "rules.cold_from", "%v: must be in 0..1, not 0", ru.ColdFrom)
-	k.That(ru.FallMultiple > 0, "rules.fall_multiple", "%v: must be positive", ru.FallMultiple)
-	k.That(ru.AskWithin.Duration > 0, "rules.ask_within", "must be positive")
+	k.Require(f.Zone == "" && len(f.Zones) == 0 || slices.Contains(f.Zones, f.Zone), "fleet.zone", "%q is none of fleet.zones", f.Zone)
+	k.Require(len(f.Zones) < 255, "fleet.zones", "at most 254")
+	k.Require(len(f.Machines) < 255, "fleet.machines", "at most 254")
+	k.Require(f.KeepAlive.Duration > 0, "fleet.keep_alive", "must be positive")
+	k.Require(f.Subset >= 0 && f.Subset <= 1000, "fleet.subset", "%d: must be in 0..1000", f.Subset)
+	k.Require(f.NodeIdle >= 0 && f.NodeIdle <= 1e6, "fleet.node_idle", "%v: must be in 0..1000000", f.NodeIdle)
+	k.Require(f.NodeProbes >= 0 && f.NodeProbes <= 1e6, "fleet.node_probes", "%v: must be in 0..1000000", f.NodeProbes)
+	k.Require(f.OverShareWorth >= 0 && f.OverShareWorth <= 1, "fleet.over_share_worth", "%v: must be in 0..1", f.OverShareWorth)
+	k.Require(a.Most >= 1, "attempts.most", "%d: must be at least 1", a.Most)
+	k.Require(a.RetryBudget > 0 && a.RetryBudget <= 10, "attempts.retry_budget", "%v: must be over 0, to 10; attempts.most = 1 is no retries", a.RetryBudget)
+	k.Require(a.DialTimeout.Duration > 0, "attempts.dial_timeout", "must be positive")
+	k.Require(ru.ColdFrom > 0 && ru.ColdFrom <= 1, "rules.cold_from", "%v: must be in 0..1, not 0", ru.ColdFrom)
+	k.Require(ru.FallMultiple > 0, "rules.fall_multiple", "%v: must be positive", ru.FallMultiple)
+	k.Require(ru.AskWithin.Duration > 0, "rules.ask_within", "must be positive")
 	for key, v := range map[string]float64{"prices.cross_zone": c.Prices.CrossZone, "prices.probe": c.Prices.Probe,
 		"prices.waste": c.Prices.Waste, "prices.late_fail": c.Prices.LateFail, "goal.whole": c.Goal.Whole,
 		"goal.worst_window": c.Goal.WorstWindow, "goal.worst_class": c.Goal.WorstClass, "goal.worst_tenant": c.Goal.WorstTenant} {
-		k.That(v >= 0 && !math.IsInf(v, 0), key, "%v: must not be negative", v)
+		k.Require(v >= 0 && !math.IsInf(v, 0), key, "%v: must not be negative", v)
 	}
 	s.Zones, s.Kinds, s.KeepAlive = f.Zones, f.Machines, f.KeepAlive.Duration
 	s.Settings = balancer.Settings{
 		Balancers: f.Instances, Position: f.Position, Zone: zone, ZoneCount: len(f.Zones), MachineKinds: len(f.Machines),
 		Subscribe: subscribe, RetryRatio: a.RetryBudget, OverQuotaWeight: f.OverShareWorth,
-		WeightByWork: stricttoml.Word(&k.Check, "fleet.worth_by", f.WorthBy, map[string]bool{"request": false, "work": true}),
+		WeightByWork: stricttoml.Enum(&k.Validation, "fleet.worth_by", f.WorthBy, map[string]bool{"request": false, "work": true}),
 		Limits: balancer.Limits{Cancel: a.Cancel, Probes: c.Probes.On, Hedging: a.SecondCopies,
 			RetryAfter: c.Refusals.RetryAfter, MaxAttempts: a.Most, MaxOpenRequests: c.Requests.Open,
 			MaxRetryAfter: c.Refusals.RetryAfterMost.Micros(), DialTimeout: a.DialTimeout.Micros()},
@@ -777,77 +777,77 @@
 	s.Settings.StrictIdempotencyKeys = len(c.Routes) > 0
 	o := &c.Overload
 	for key, v := range map[string]float64{"further": o.Further, "further_sick": o.FurtherSick, "probes": o.Probes} {
-		k.That(v >= 0 && v <= 10, "overload."+key, "%v: must be in 0..10", v)
+		k.Require(v >= 0 && v <= 10, "overload."+key, "%v: must be in 0..10", v)
 	}
-	k.That(o.FurtherSick <= o.Further, "overload.further_sick", "%v is over further, %v", o.FurtherSick, o.Further)
-	k.That(o.NodeProbes >= 0 && o.NodeProbes <= 1e6, "overload.node_probes", "%v: must be in 0..1000000", o.NodeProbes)
-	k.That(o.NodeLeast > 0 && o.NodeLeast <= 1e6, "overload.node_least", "%v: must be over 0, to 1000000: an endpoint that recovers must be found", o.NodeLeast)
-	k.That(o.NodeProbes == 0 || o.NodeLeast <= o.NodeProbes, "overload.node_least", "%v is over node_probes, %v", o.NodeLeast, o.NodeProbes)
+	k.Require(o.FurtherSick <= o.Further, "overload.further_sick", "%v is over further, %v", o.FurtherSick, o.Further)
+	k.Require(o.NodeProbes >= 0 && o.NodeProbes <= 1e6, "overload.node_probes", "%v: must be in 0..1000000", o.NodeProbes)
+	k.Require(o.NodeLeast > 0 && o.NodeLeast <= 1e6, "overload.node_least", "%v: must be over 0, to 1000000: an endpoint that recovers must be found", o.NodeLeast)
+	k.Require(o.NodeProbes == 0 || o.NodeLeast <= o.NodeProbes, "overload.node_least", "%v is over node_probes, %v", o.NodeLeast, o.NodeProbes)
 	k.reports(c)
 	k.classes(c)
 	tenants := map[string]bool{}
 	for i, t := range c.Tenants {
 		at := func(key string) string { return fmt.Sprintf("tenant.%d.%s", i, key) }
-		k.That(t.Name != "", at("name"), "is missing")
-		k.That(!tenants[t.Name], at("name"), "%q is named twice", t.Name)
+		k.Require(t.Name != "", at("name"), "is missing")
+		k.Require(!tenants[t.Name], at("name"), "%q is named twice", t.Name)
 		tenants[t.Name] = true
-		k.That(t.Allowance >= 0 && !math.IsInf(t.Allowance, 0), at("allowance"), "%v: must not be negative", t.Allowance)
-		k.That(t.Share >= 0 && t.Share <= 1, at("share"), "%v: must be in 0..1", t.Share)
-		k.That(t.Limit == 0 || t.Limit >= 1 && t.Limit <= 1e6, at("limit"), "%v: must be 0 for none, or in 1..1000000", t.Limit)
+		k.Require(t.Allowance >= 0 && !math.IsInf(t.Allowance, 0), at("allowance"), "%v: must not be negative", t.Allowance)
+		k.Require(t.Share >= 0 && t.Share <= 1, at("share"), "%v: must be in 0..1", t.Share)
+		k.Require(t.Limit == 0 || t.Limit >= 1 && t.Limit <= 1e6, at("limit"), "%v: must be 0 for none, or in 1..1000000", t.Limit)
 		s.Tenants = append(s.Tenants, t.Name)
 		s.TenantLimits = append(s.TenantLimits, t.Limit)
 		s.Settings.Tenants = append(s.Settings.Tenants, balancer.Tenant{Name: t.Name, Quota: t.Allowance, Share: t.Share})
 	}
 	if k.Err() == nil {
 		err := s.Settings.Validate() // what it knows and this does not
-		k.That(err == nil, "", "%v", err)
+		k.Require(err == nil, "", "%v", err)
 	}
 }
 
 // reports reads what endpoints tell of their load.
 func (k *check) reports(c *Config) {
 	s := &c.Site
-	s.ReportsOnResponses = stricttoml.Word(&k.Check, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
+	s.ReportsOnResponses = stricttoml.Enum(&k.Validation, "probes.report", c.Probes.Report, map[string]bool{"none": false, "probe": false, "answers": true})
 	if c.Probes.Report == "none" {
-		k.That(len(c.Probes.Fields) == 0, "probes.fields", "mean nothing while probes.report is \"none\"")
+		k.Require(len(c.Probes.Fields) == 0, "probes.fields", "mean nothing while probes.report is \"none\"")
 		return
 	}
-	k.That(len(c.Probes.Fields) > 0, "probes.fields", "are missing")
+	k.Require(len(c.Probes.Fields) > 0, "probes.fields", "are missing")
 	for i, name := range c.Probes.Fields {
-		k.That(!slices.Contains(c.Probes.Fields[:i], name), "probes.fields", "%q is named twice", name)
+		k.Require(!slices.Contains(c.Probes.Fields[:i], name), "probes.fields", "%q is named twice", name)
 		s.LoadReportFields = append(s.LoadReportFields, name)
-		s.Settings.LoadMetrics = append(s.Settings.LoadMetrics, stricttoml.Word(&k.Check, "probes.fields", name, fields))
+		s.Settings.LoadMetrics = append(s.Settings.LoadMetrics, stricttoml.Enum(&k.Validation, "probes.fields", name, fields))
 	}
 }
 
 func (k *check) classes(c *Config) {
 	s := &c.Site
-	k.That(len(c.Classes) > 0, "class", "at least one is needed")
-	k.That(len(c.Classes) < 255, "class", "at most 254")
+	k.Require(len(c.Classes) > 0, "class", "at least one is needed")
+	k.Require(len(c.Classes) < 255, "class", "at most 254")
 	for i := range c.Classes {
 		cl := &c.Classes[i]
 		at := func(key string) string { return fmt.Sprintf("class.%d.%s", i, key) }
-		k.That(cl.Name != "" && !strings.ContainsAny(cl.Name, "/ ?#%"), at("name"),
+		k.Require(cl.Name != "" && !strings.ContainsAny(cl.Name, "/ ?#%"), at("name"),
 			"%q must be a part of a path: neither empty nor with / ? # %% or a space", cl.Name)
-		k.That(!slices.Contains(s.Classes, cl.Name), at("name"), "%q is named twice", cl.Name)
+		k.Require(!slices.Contains(s.Classes, cl.Name), at("name"), "%q is named twice", cl.Name)
 		to := balancer.Class{Name: cl.Name, LatencyObjective: cl.Aim.Micros(), ClientTimeout: cl.GiveUp.Micros(), PriorityWeight: 1, LateWeight: cl.LateWorth}
-		to.Idempotency = stricttoml.Word(&k.Check, at("repeat"), cl.Repeat, map[string]balancer.Idempotency{
+		to.Idempotency = stricttoml.Enum(&k.Validation, at("repeat"), cl.Repeat, map[string]balancer.Idempotency{
 			"safe": balancer.Idempotent, "keyed": balancer.IdempotentByKey, "unsafe": balancer.NonIdempotent})
 		if cl.Repeat == "keyed" {
-			to.DedupScope = stricttoml.Word(&k.Check, at("group"), cl.Group, map[string]balancer.DedupScope{
+			to.DedupScope = stricttoml.Enum(&k.Validation, at("group"), cl.Group, map[string]balancer.DedupScope{
 				"all": balancer.DedupAll, "zone": balancer.DedupZone, "cell": balancer.DedupCell})
 			to.DedupWindow = cl.Window.Micros()
-			k.That(cl.Window.Duration > 0, at("window"), "is missing: for how long the group drops a repeat of a key")
+			k.Require(cl.Window.Duration > 0, at("window"), "is missing: for how long the group drops a repeat of a key")
 		} else {
-			k.That(cl.Group == "" && cl.Window.Duration == 0, at("group"), "group and window are for keyed classes only")
+			k.Require(cl.Group == "" && cl.Window.Duration == 0, at("group"), "group and window are for keyed classes only")
 		}
 		if cl.Worth != nil {
 			to.PriorityWeight = *cl.Worth
 		}
-		k.That(to.PriorityWeight >= 0 && !math.IsInf(to.PriorityWeight, 0), at("worth"), "%v: must not be negative", to.PriorityWeight)
-		k.That(cl.Aim.Duration > 0, at("aim"), "is missing")
-		k.That(cl.GiveUp.Duration >= cl.Aim.Duration, at("give_up"), "%v is under aim, %v", cl.GiveUp, cl.Aim)
-		k.That(cl.LateWorth >= 0 && cl.LateWorth <= 1, at("late_worth"), "%v: must be in 0..1", cl.LateWorth)
+		k.Require(to.PriorityWeight >= 0 && !math.IsInf(to.PriorityWeight, 0), at("worth"), "%v: must not be negative", to.PriorityWeight)
+		k.Require(cl.Aim.Duration > 0, at("aim"), "is missing")
+		k.Require(cl.GiveUp.Duration >= cl.Aim.Duration, at("give_up"), "%v is under aim, %v", cl.GiveUp, cl.Aim)
+		k.Require(cl.LateWorth >= 0 && cl.LateWorth <= 1, at("late_worth"), "%v: must be in 0..1", cl.LateWorth)
 		s.Classes = append(s.Classes, cl.Name)
 		s.Settings.Classes = append(s.Settings.Classes, to)
 	}
--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -295,7 +295,7 @@
 
 // explain tells mistakes by the resources that they are in.
 func (m *merge) explain(text []byte, wrong stricttoml.Errors) error {
-	places := stricttoml.Places(text)
+	places := stricttoml.TableLookup(text)
 	var lines []string
 	for i, e := range wrong {
 		if i == mistakesMost {
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -162,13 +162,13 @@
 
 // routes checks pools and routes, and makes the table.
 func (k *check) routes(c *Config) {
-	stricttoml.Word(&k.Check, "paths.encoded_slash", c.Paths.EncodedSlash, map[string]bool{"refuse": true, "keep": true})
+	stricttoml.Enum(&k.Validation, "paths.encoded_slash", c.Paths.EncodedSlash, map[string]bool{"refuse": true, "keep": true})
 	pools := map[string]bool{}
 	for i := range c.Pools {
 		p := &c.Pools[i]
 		at := func(key string) string { return fmt.Sprintf("pool.%d.%s", i, key) }
-		k.That(p.Name != "", at("name"), "is missing")
-		k.That(!pools[p.Name], at("name"), "%q is named twice", p.Name)
+		k.Require(p.Name != "", at("name"), "is missing")
+		k.Require(!pools[p.Name], at("name"), "%q is named twice", p.Name)
 		pools[p.Name] = true
 		sources := 0
 		for _, is := range []bool{p.Endpoints != nil, p.File != "", p.Discovery != ""} {
@@ -176,23 +176,23 @@
 				sources++
 			}
 		}
-		k.That(sources == 1, at("endpoints"), "exactly one of endpoints, file and discovery must be given, not %d", sources)
+		k.Require(sources == 1, at("endpoints"), "exactly one of endpoints, file and discovery must be given, not %d", sources)
 		if p.Endpoints != nil {
 			for j, address := range *p.Endpoints {
-				k.That(hostPort(address, 1), at("endpoints"), "%q is no host:port with a port in 1..65535", address)
-				k.That(!slices.Contains((*p.Endpoints)[:j], address), at("endpoints"), "%q is named twice", address)
+				k.Require(hostPort(address, 1), at("endpoints"), "%q is no host:port with a port in 1..65535", address)
+				k.Require(!slices.Contains((*p.Endpoints)[:j], address), at("endpoints"), "%q is named twice", address)
 			}
 		}
-		k.That(p.Discovery == "" || hostPort(p.Discovery, 1), at("discovery"), "%q is no host:port with a port in 1..65535", p.Discovery)
-		k.That(p.RetryBudget >= 0 && p.RetryBudget <= 10, at("retry_budget"), "%v: must be in 0..10", p.RetryBudget)
-		k.That(p.Least() == 0 || p.Least() >= 1 && p.Least() <= 1000, at("retry_least"), "%v: must be 0 or in 1..1000: a part of a try is none", p.Least())
+		k.Require(p.Discovery == "" || hostPort(p.Discovery, 1), at("discovery"), "%q is no host:port with a port in 1..65535", p.Discovery)
+		k.Require(p.RetryBudget >= 0 && p.RetryBudget <= 10, at("retry_budget"), "%v: must be in 0..10", p.RetryBudget)
+		k.Require(p.Least() == 0 || p.Least() >= 1 && p.Least() <= 1000, at("retry_least"), "%v: must be 0 or in 1..1000: a part of a try is none", p.Least())
 	}
-	k.That(len(c.Pools) == 0 || len(c.Routes) > 0, "pool", "no route leads to a pool: there is no table [[route]]")
+	k.Require(len(c.Pools) == 0 || len(c.Routes) > 0, "pool", "no route leads to a pool: there is no table [[route]]")
 	if len(c.Routes) == 0 {
 		return
 	}
-	k.That(c.Discovery.Address == "", "discovery.address", "with [[route]] it belongs into a [[pool]]")
-	k.That(c.Discovery.Mode == "watch", "discovery.mode", "with [[route]] lists are watched")
+	k.Require(c.Discovery.Address == "", "discovery.address", "with [[route]] it belongs into a [[pool]]")
+	k.Require(c.Discovery.Mode == "watch", "discovery.mode", "with [[route]] lists are watched")
 	names := map[string]bool{}
 	var patterns []route.Pattern
 	for i := range c.Routes {
@@ -211,9 +211,9 @@
 	switch {
 	case errors.As(err, &bad):
 		key := map[string]string{"method": "methods", "header": "headers"}[bad.Key]
-		k.That(false, fmt.Sprintf("route.%d.%s", bad.Index, or(key, bad.Key)), "%s", bad.Reason)
+		k.Require(false, fmt.Sprintf("route.%d.%s", bad.Index, or(key, bad.Key)), "%s", bad.Reason)
 	case errors.As(err, &conflict):
-		k.That(false, fmt.Sprintf("route.%d", conflict.Second), "can take the same request as the route on line %d, and neither is more specific",
+		k.Require(false, fmt.Sprintf("route.%d", conflict.Second), "can take the same request as the route on line %d, and neither is more specific",
 			k.Lines[fmt.Sprintf("route.%d", conflict.First)])
 	}
 	c.Table = table
@@ -221,7 +221,7 @@
 		for key, source := range c.Routes[i].sources() {
 			if name, ok := strings.CutPrefix(*source, "path:"); ok && table != nil {
 				_, known := table.ParameterIndex(i, name)
-				k.That(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
+				k.Require(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
 			}
 		}
 	}
@@ -237,9 +237,9 @@
 func (k *check) route(c *Config, i int, pools, names map[string]bool) {
 	r := &c.Routes[i]
 	at := func(key string) string { return fmt.Sprintf("route.%d.%s", i, key) }
-	k.That(r.Name == "" || !names[r.Name], at("name"), "%q is named twice", r.Name)
+	k.Require(r.Name == "" || !names[r.Name], at("name"), "%q is named twice", r.Name)
 	names[r.Name] = true
-	k.That(pools[r.Pool], at("pool"), "no pool is named %q", r.Pool)
+	k.Require(pools[r.Pool], at("pool"), "no pool is named %q", r.Pool)
 	classes := []string{r.Class}
 	if r.Class == "" {
 		classes = []string{ReadClass, WriteClass}
@@ -247,10 +247,10 @@
 	for _, name := range classes {
 		j := slices.IndexFunc(c.Classes, func(cl Class) bool { return cl.Name == name })
 		if j < 0 {
-			k.That(false, at("class"), "no class is named %q", name)
+			k.Require(false, at("class"), "no class is named %q", name)
 			continue
 		}
-		k.That(c.Classes[j].Repeat != "keyed" || r.Key != "", at("key"), "is missing: class %q is keyed", name)
+		k.Require(c.Classes[j].Repeat != "keyed" || r.Key != "", at("key"), "is missing: class %q is keyed", name)
 	}
 	for key, source := range r.sources() {
 		name, header := strings.CutPrefix(*source, "header:")
@@ -259,44 +259,44 @@
 		switch {
 		case *source == "":
 		case header:
-			k.That(http1msg.IsToken(name), at(key), "%q is no name of a header", name)
-			k.That(!slices.Contains(own, http.CanonicalHeaderKey(name)), at(key), "%s tells how a message is framed, nothing else", name)
+			k.Require(http1msg.IsToken(name), at(key), "%q is no name of a header", name)
+			k.Require(!slices.Contains(own, http.CanonicalHeaderKey(name)), at(key), "%s tells how a message is framed, nothing else", name)
 		case key == "key" || key == "id" || key == "deadline":
-			k.That(false, at(key), "%q is no header, as \"header:NAME\"", *source)
+			k.Require(false, at(key), "%q is no header, as \"header:NAME\"", *source)
 		case path, fixed, *source == "client":
 		default:
-			k.That(false, at(key), "%q is none of \"header:NAME\", \"path:NAME\", \"client\", \"=NAME\"", *source)
+			k.Require(false, at(key), "%q is none of \"header:NAME\", \"path:NAME\", \"client\", \"=NAME\"", *source)
 		}
 	}
 	for name := range r.Headers {
-		k.That(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
+		k.Require(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
 	}
-	k.That(r.Tries >= 0, at("tries"), "%d is negative", r.Tries)
+	k.Require(r.Tries >= 0, at("tries"), "%d is negative", r.Tries)
 	for key, size := range map[string]stricttoml.Size{"body_hold": r.BodyHold, "answer_hold": r.AnswerHold} {
-		k.That(size.Bytes <= HoldMost, at(key), "over 1MiB: what is larger streams")
+		k.Require(size.Bytes <= HoldMost, at(key), "over 1MiB: what is larger streams")
 	}
-	k.That(r.AnswerMost.Bytes == 0 || r.AnswerMost.Bytes >= r.AnswerHold.Bytes, at("answer_most"), "is under answer_hold")
-	k.That(r.Idle.Duration <= r.Whole.Duration, at("idle"), "%v is over whole, %v", r.Idle, r.Whole)
+	k.Require(r.AnswerMost.Bytes == 0 || r.AnswerMost.Bytes >= r.AnswerHold.Bytes, at("answer_most"), "is under answer_hold")
+	k.Require(r.Idle.Duration <= r.Whole.Duration, at("idle"), "%v is over whole, %v", r.Idle, r.Whole)
 	for key, codes := range map[string][]int{"errors": r.Errors, "full": r.Full} {
 		for _, code := range codes {
-			k.That(code >= 400 && code < 600, at(key), "%d is no status in 400..599", code)
+			k.Require(code >= 400 && code < 600, at(key), "%d is no status in 400..599", code)
 		}
 	}
-	k.That(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
-	k.That(r.StripPrefix == "" || r.stripped(), at("strip_prefix"), "%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
+	k.Require(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
+	k.Require(r.StripPrefix == "" || r.stripped(), at("strip_prefix"), "%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
 	if r.AddPrefix != "" {
 		normal, err := route.NormalizePath(r.AddPrefix, route.KeepEncodedSlashes)
-		k.That(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
+		k.Require(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
 			"%q is no path in normal form without a / at its end", r.AddPrefix)
 	}
-	stricttoml.Word(&k.Check, at("forwarded"), r.Forwarded, map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
-	k.That(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"), "means nothing with forwarded = %q", r.Forwarded)
+	stricttoml.Enum(&k.Validation, at("forwarded"), r.Forwarded, map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
+	k.Require(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"), "means nothing with forwarded = %q", r.Forwarded)
 	for key, e := range map[string]*Edits{"request": &r.Request, "answer": &r.Answer} {
 		k.edits(at(key), e)
 	}
 	for key, source := range map[string]string{"key": r.Key, "id": r.ID, "deadline": r.Deadline} {
 		name, _ := strings.CutPrefix(source, "header:")
-		k.That(name == "" || !r.Request.touches(name), at("request"), "%s, which %s names, must reach the endpoint as it is", name, key)
+		k.Require(name == "" || !r.Request.touches(name), at("request"), "%s, which %s names, must reach the endpoint as it is", name, key)
 	}
 }
 
@@ -316,8 +316,8 @@
 
 func (k *check) edits(at string, e *Edits) {
 	name := func(key, name string) {
-		k.That(http1msg.IsToken(name), at+"."+key, "%q is no name of a header", name)
-		k.That(!slices.Contains(own, http.CanonicalHeaderKey(name)), at+"."+key, "%s is not to be changed", name)
+		k.Require(http1msg.IsToken(name), at+"."+key, "%q is no name of a header", name)
+		k.Require(!slices.Contains(own, http.CanonicalHeaderKey(name)), at+"."+key, "%s is not to be changed", name)
 	}
 	for _, n := range e.Remove {
 		name("remove", n)
@@ -325,7 +325,7 @@
 	for key, set := range map[string]map[string]string{"set": e.Set, "add": e.Add} {
 		for n, v := range set {
 			name(key, n)
-			k.That(!strings.ContainsFunc(v, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }), at+"."+key, "%q has a control character", v)
+			k.Require(!strings.ContainsFunc(v, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }), at+"."+key, "%q has a control character", v)
 		}
 	}
 }
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -285,15 +285,15 @@
 	if err != nil {
 		return err
 	}
-	k := &stricttoml.Check{Lines: lines}
+	k := &stricttoml.Validation{Lines: lines}
 	if own.Base != "" {
-		k.That(depth < basesMost, "base", "more than %d scenarios are based on one another", basesMost)
+		k.Require(depth < basesMost, "base", "more than %d scenarios are based on one another", basesMost)
 		if err := k.Err(); err != nil {
 			return err
 		}
 		base, err := find(own.Base)
 		if err != nil {
-			k.That(false, "base", "%v", err)
+			k.Require(false, "base", "%v", err)
 			return k.Err()
 		}
 		if err := s.overlay(base, find, depth+1); err != nil {
@@ -389,113 +389,113 @@
 	}
 }
 
-func (s *Scenario) check(k *stricttoml.Check) {
-	k.That(s.Name != "", "name", "is missing")
-	k.That(s.Length.Duration >= time.Second, "length", "%v is under a second", s.Length)
+func (s *Scenario) check(k *stricttoml.Validation) {
+	k.Require(s.Name != "", "name", "is missing")
+	k.Require(s.Length.Duration >= time.Second, "length", "%v is under a second", s.Length)
 	f := &s.Fleet
-	k.That(len(f.Zones) > 0 && len(f.Zones) < 255, "fleet.zones", "there must be 1 to 254")
+	k.Require(len(f.Zones) > 0 && len(f.Zones) < 255, "fleet.zones", "there must be 1 to 254")
 	for i, z := range f.Zones {
-		k.That(z != "" && !slices.Contains(f.Zones[:i], z), "fleet.zones", "%q is empty or named twice", z)
+		k.Require(z != "" && !slices.Contains(f.Zones[:i], z), "fleet.zones", "%q is empty or named twice", z)
 	}
-	k.That(f.Instances >= 1 && f.Instances <= 100_000, "fleet.instances", "%d: must be in 1..100000", f.Instances)
-	k.That(f.Uneven >= 0 && f.Uneven <= 3, "fleet.uneven", "%v: must be in 0..3", f.Uneven)
-	k.That(f.ZoneSkew >= 0 && f.ZoneSkew <= 1, "fleet.zone_skew", "%v: must be in 0..1", f.ZoneSkew)
-	k.That(f.Subset >= 0, "fleet.subset", "%d is negative", f.Subset)
+	k.Require(f.Instances >= 1 && f.Instances <= 100_000, "fleet.instances", "%d: must be in 1..100000", f.Instances)
+	k.Require(f.Uneven >= 0 && f.Uneven <= 3, "fleet.uneven", "%v: must be in 0..3", f.Uneven)
+	k.Require(f.ZoneSkew >= 0 && f.ZoneSkew <= 1, "fleet.zone_skew", "%v: must be in 0..1", f.ZoneSkew)
+	k.Require(f.Subset >= 0, "fleet.subset", "%d is negative", f.Subset)
 	n := &s.Network
-	k.That(n.Jitter >= 0 && n.Jitter <= 10, "network.jitter", "%v: must be in 0..10", n.Jitter)
-	k.That(n.Loss >= 0 && n.Loss < 0.5, "network.loss", "%v: must be in 0..0.5", n.Loss)
-	k.That(s.Clocks.Drift >= 0 && s.Clocks.Drift < 0.01, "clocks.drift", "%v: must be in 0..0.01", s.Clocks.Drift)
+	k.Require(n.Jitter >= 0 && n.Jitter <= 10, "network.jitter", "%v: must be in 0..10", n.Jitter)
+	k.Require(n.Loss >= 0 && n.Loss < 0.5, "network.loss", "%v: must be in 0..0.5", n.Loss)
+	k.Require(s.Clocks.Drift >= 0 && s.Clocks.Drift < 0.01, "clocks.drift", "%v: must be in 0..0.01", s.Clocks.Drift)
 	s.checkNodes(k)
 	s.checkTraffic(k)
 	last := stricttoml.Duration{Duration: -1}
 	for i, p := range s.Shape {
 		at := fmt.Sprintf("shape.%d.", i)
-		k.That(p.At.Duration > last.Duration, at+"at", "%v does not come after the one before", p.At)
-		k.That(p.Times >= 0 && p.Times <= 1000, at+"times", "%v: must be in 0..1000", p.Times)
+		k.Require(p.At.Duration > last.Duration, at+"at", "%v does not come after the one before", p.At)
+		k.Require(p.Times >= 0 && p.Times <= 1000, at+"times", "%v: must be in 0..1000", p.Times)
 		last = p.At
 	}
 	for i := range s.Events {
 		s.checkEvent(k, i)
 	}
-	k.That(s.Replay == nil || len(s.Replay.From) > 0, "replay.from", "is missing: the folders of an access record")
+	k.Require(s.Replay == nil || len(s.Replay.From) > 0, "replay.from", "is missing: the folders of an access record")
 }
 
-func checkRange(k *stricttoml.Check, key string, r Range, least, most float64) {
-	k.That(len(r) <= 2, key, "must be a list of one number or of two")
-	k.That(len(r) < 2 || r[0] <= r[1], key, "its second number is under its first")
+func checkRange(k *stricttoml.Validation, key string, r Range, least, most float64) {
+	k.Require(len(r) <= 2, key, "must be a list of one number or of two")
+	k.Require(len(r) < 2 || r[0] <= r[1], key, "its second number is under its first")
 	for _, v := range r {
-		k.That(v >= least && v <= most, key, "%v: must be in %v..%v", v, least, most)
+		k.Require(v >= least && v <= most, key, "%v: must be in %v..%v", v, least, most)
 	}
 }
 
-func (s *Scenario) checkNodes(k *stricttoml.Check) {
-	k.That(len(s.Nodes) > 0, "nodes", "at least one kind is needed")
+func (s *Scenario) checkNodes(k *stricttoml.Validation) {
+	k.Require(len(s.Nodes) > 0, "nodes", "at least one kind is needed")
 	kinds := map[string]bool{}
 	for i := range s.Nodes {
 		n := &s.Nodes[i]
 		at := func(key string) string { return fmt.Sprintf("nodes.%d.%s", i, key) }
-		k.That(n.Kind != "" && !kinds[n.Kind], at("kind"), "%q is empty or named twice", n.Kind)
+		k.Require(n.Kind != "" && !kinds[n.Kind], at("kind"), "%q is empty or named twice", n.Kind)
 		kinds[n.Kind] = true
-		k.That(n.Count >= 1 && n.Count <= 1_000_000, at("count"), "%d: must be in 1..1000000", n.Count)
+		k.Require(n.Count >= 1 && n.Count <= 1_000_000, at("count"), "%d: must be in 1..1000000", n.Count)
 		for _, z := range n.Zones {
-			k.That(slices.Contains(s.Fleet.Zones, z), at("zones"), "%q is none of fleet.zones", z)
+			k.Require(slices.Contains(s.Fleet.Zones, z), at("zones"), "%q is none of fleet.zones", z)
 		}
-		k.That(n.Cores >= 1 && n.Cores <= 1024, at("cores"), "%d: must be in 1..1024", n.Cores)
+		k.Require(n.Cores >= 1 && n.Cores <= 1024, at("cores"), "%d: must be in 1..1024", n.Cores)
 		checkRange(k, at("speed"), n.Speed, 0.001, 1000)
-		k.That(n.Queue >= 0, at("queue"), "%d is negative", n.Queue)
-		k.That(n.ColdFrom > 0 && n.ColdFrom <= 1, at("cold_from"), "%v: must be in 0..1, not 0", n.ColdFrom)
-		k.That(n.Fall == 0 || n.Fall >= 1, at("fall"), "%v: must be at least 1, or 0 for never", n.Fall)
-		k.That(n.Fall == 0 || n.FallAfter.Duration > 0, at("fall_after"), "is missing")
-		stricttoml.Word(k, at("cancel"), n.Cancel, map[string]bool{"none": true, "queued": true, "all": true})
-		k.That(n.Errors >= 0 && n.Errors < 1, at("errors"), "%v: must be in 0..1, not 1", n.Errors)
-		k.That(n.Crowd >= 0 && n.Crowd < 1, at("crowd"), "%v: must be in 0..1, not 1", n.Crowd)
-		k.That(n.Crowd == 0 || n.CrowdAt > 0, at("crowd_at"), "is missing")
-		k.That(n.PauseFor.Duration == 0 || n.PauseEvery.Duration > n.PauseFor.Duration, at("pause_every"), "%v is not over pause_for, %v", n.PauseEvery, n.PauseFor)
-		k.That(n.Conns >= 0, at("connections"), "%d is negative", n.Conns)
-		k.That(n.Cell >= 1, at("cell"), "%d: must be at least 1", n.Cell)
-		k.That(n.Noise >= 0 && n.Noise <= 1, at("report_noise"), "%v: must be in 0..1", n.Noise)
+		k.Require(n.Queue >= 0, at("queue"), "%d is negative", n.Queue)
+		k.Require(n.ColdFrom > 0 && n.ColdFrom <= 1, at("cold_from"), "%v: must be in 0..1, not 0", n.ColdFrom)
+		k.Require(n.Fall == 0 || n.Fall >= 1, at("fall"), "%v: must be at least 1, or 0 for never", n.Fall)
+		k.Require(n.Fall == 0 || n.FallAfter.Duration > 0, at("fall_after"), "is missing")
+		stricttoml.Enum(k, at("cancel"), n.Cancel, map[string]bool{"none": true, "queued": true, "all": true})
+		k.Require(n.Errors >= 0 && n.Errors < 1, at("errors"), "%v: must be in 0..1, not 1", n.Errors)
+		k.Require(n.Crowd >= 0 && n.Crowd < 1, at("crowd"), "%v: must be in 0..1, not 1", n.Crowd)
+		k.Require(n.Crowd == 0 || n.CrowdAt > 0, at("crowd_at"), "is missing")
+		k.Require(n.PauseFor.Duration == 0 || n.PauseEvery.Duration > n.PauseFor.Duration, at("pause_every"), "%v is not over pause_for, %v", n.PauseEvery, n.PauseFor)
+		k.Require(n.Conns >= 0, at("connections"), "%d is negative", n.Conns)
+		k.Require(n.Cell >= 1, at("cell"), "%d: must be at least 1", n.Cell)
+		k.Require(n.Noise >= 0 && n.Noise <= 1, at("report_noise"), "%v: must be in 0..1", n.Noise)
 	}
 }
 
-func (s *Scenario) checkTraffic(k *stricttoml.Check) {
-	k.That(len(s.Classes) > 0, "class", "at least one is needed")
+func (s *Scenario) checkTraffic(k *stricttoml.Validation) {
+	k.Require(len(s.Classes) > 0, "class", "at least one is needed")
 	var sum float64
 	names := map[string]bool{}
 	for i, c := range s.Classes {
 		at := func(key string) string { return fmt.Sprintf("class.%d.%s", i, key) }
-		k.That(c.Name != "" && !names[c.Name], at("name"), "%q is empty or named twice", c.Name)
+		k.Require(c.Name != "" && !names[c.Name], at("name"), "%q is empty or named twice", c.Name)
 		names[c.Name] = true
-		k.That(c.Share >= 0 && !math.IsInf(c.Share, 0), at("share"), "%v: must not be negative", c.Share)
+		k.Require(c.Share >= 0 && !math.IsInf(c.Share, 0), at("share"), "%v: must not be negative", c.Share)
 		sum += c.Share
-		k.That(c.Work.Duration > 0, at("work"), "is missing")
-		stricttoml.Word(k, at("dist"), c.Dist, map[string]bool{"lognormal": true, "exponential": true, "fixed": true})
-		k.That(c.CV >= 0 && c.CV <= 10, at("cv"), "%v: must be in 0..10", c.CV)
-		k.That(c.CV == 0 || c.Dist == "lognormal", at("cv"), "is for \"lognormal\" only")
-		k.That(c.Noise >= 0 && c.Noise <= 10, at("noise"), "%v: must be in 0..10", c.Noise)
+		k.Require(c.Work.Duration > 0, at("work"), "is missing")
+		stricttoml.Enum(k, at("dist"), c.Dist, map[string]bool{"lognormal": true, "exponential": true, "fixed": true})
+		k.Require(c.CV >= 0 && c.CV <= 10, at("cv"), "%v: must be in 0..10", c.CV)
+		k.Require(c.CV == 0 || c.Dist == "lognormal", at("cv"), "is for \"lognormal\" only")
+		k.Require(c.Noise >= 0 && c.Noise <= 10, at("noise"), "%v: must be in 0..10", c.Noise)
 	}
-	k.That(sum > 0, "class", "the shares add up to nothing")
+	k.Require(sum > 0, "class", "the shares add up to nothing")
 	tenants := map[string]bool{}
 	for i, t := range s.Tenants {
 		at := func(key string) string { return fmt.Sprintf("tenant.%d.%s", i, key) }
-		k.That(t.Name != "" && !tenants[t.Name], at("name"), "%q is empty or named twice", t.Name)
+		k.Require(t.Name != "" && !tenants[t.Name], at("name"), "%q is empty or named twice", t.Name)
 		tenants[t.Name] = true
-		k.That(t.Share >= 0 && !math.IsInf(t.Share, 0), at("share"), "%v: must not be negative", t.Share)
+		k.Require(t.Share >= 0 && !math.IsInf(t.Share, 0), at("share"), "%v: must not be negative", t.Share)
 	}
 	c := &s.Clients
-	k.That((c.Load > 0) != (c.Rate > 0) || s.Replay != nil, "clients.load", "one of load and rate must be given, and positive")
-	k.That(c.Load >= 0 && c.Load <= 100, "clients.load", "%v: must be in 0..100", c.Load)
-	k.That(c.Rate >= 0 && c.Rate <= 1e7, "clients.rate", "%v: must be in 0..10000000", c.Rate)
-	k.That(c.Processes >= 1, "clients.processes", "%d: must be at least 1", c.Processes)
-	k.That(c.Retries[0] >= 0 && c.Retries[1] >= c.Retries[0] && c.Retries[1] <= 20, "clients.retries", "%v: must be two numbers in order, 0..20", c.Retries)
+	k.Require((c.Load > 0) != (c.Rate > 0) || s.Replay != nil, "clients.load", "one of load and rate must be given, and positive")
+	k.Require(c.Load >= 0 && c.Load <= 100, "clients.load", "%v: must be in 0..100", c.Load)
+	k.Require(c.Rate >= 0 && c.Rate <= 1e7, "clients.rate", "%v: must be in 0..10000000", c.Rate)
+	k.Require(c.Processes >= 1, "clients.processes", "%d: must be at least 1", c.Processes)
+	k.Require(c.Retries[0] >= 0 && c.Retries[1] >= c.Retries[0] && c.Retries[1] <= 20, "clients.retries", "%v: must be two numbers in order, 0..20", c.Retries)
 	checkRange(k, "clients.try_share", c.TryShare, 0.01, 1)
-	k.That(len(c.TryShare) > 0, "clients.try_share", "is missing")
+	k.Require(len(c.TryShare) > 0, "clients.try_share", "is missing")
 	for key, v := range map[string]float64{"honour_retry_after": c.Honour, "impatient": c.Impatient, "fresh_keys": c.FreshKeys} {
-		k.That(v >= 0 && v <= 1, "clients."+key, "%v: must be in 0..1", v)
+		k.Require(v >= 0 && v <= 1, "clients."+key, "%v: must be in 0..1", v)
 	}
-	k.That(c.Objects >= 1, "clients.objects", "%d: must be at least 1", c.Objects)
+	k.Require(c.Objects >= 1, "clients.objects", "%d: must be at least 1", c.Objects)
 }
 
-func (s *Scenario) checkEvent(k *stricttoml.Check, i int) {
+func (s *Scenario) checkEvent(k *stricttoml.Validation, i int) {
 	e := &s.Events[i]
 	at := func(key string) string { return fmt.Sprintf("event.%d.%s", i, key) }
 	kind, known := what[e.What]
@@ -504,33 +504,33 @@
 		for w := range what {
 			words[w] = true
 		}
-		stricttoml.Word(k, at("what"), e.What, words)
+		stricttoml.Enum(k, at("what"), e.What, words)
 		return
 	}
-	k.That(e.At != nil, at("at"), "is missing")
-	k.That((e.Delay != nil) == (e.What == "late-reports" || e.What == "late-words" || e.What == "stale" || e.What == "lag" || e.What == "work"), at("delay"), "is for late-reports, late-words, stale, lag and work, and needed there")
-	k.That(e.At == nil || e.At.From < s.Length.Duration, at("at"), "it is after the end, %v", s.Length)
-	k.That(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at("zone"), "%q is none of fleet.zones", e.Zone)
-	k.That(e.To == "" || slices.Contains(s.Fleet.Zones, e.To), at("to"), "%q is none of fleet.zones", e.To)
-	k.That(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
-	k.That(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
-	k.That(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
+	k.Require(e.At != nil, at("at"), "is missing")
+	k.Require((e.Delay != nil) == (e.What == "late-reports" || e.What == "late-words" || e.What == "stale" || e.What == "lag" || e.What == "work"), at("delay"), "is for late-reports, late-words, stale, lag and work, and needed there")
+	k.Require(e.At == nil || e.At.From < s.Length.Duration, at("at"), "it is after the end, %v", s.Length)
+	k.Require(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at("zone"), "%q is none of fleet.zones", e.Zone)
+	k.Require(e.To == "" || slices.Contains(s.Fleet.Zones, e.To), at("to"), "%q is none of fleet.zones", e.To)
+	k.Require(e.Kind == "" || slices.ContainsFunc(s.Nodes, func(n Nodes) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
+	k.Require(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
+	k.Require(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
 	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade" || e.What == "limits"
-	k.That(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
+	k.Require(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
 	checkRange(k, at("instances"), e.Instances, 0, 1)
-	k.That(ofInstances || len(e.Named) == 0, at("named"), "%q does not happen to instances", e.What)
-	k.That(len(e.Named) == 0 || len(e.Instances) == 0, at("named"), "either named or instances")
-	k.That(len(e.Others) == 0 || e.What == "part", at("others"), "is for part only")
+	k.Require(ofInstances || len(e.Named) == 0, at("named"), "%q does not happen to instances", e.What)
+	k.Require(len(e.Named) == 0 || len(e.Instances) == 0, at("named"), "either named or instances")
+	k.Require(len(e.Others) == 0 || e.What == "part", at("others"), "is for part only")
 	for _, n := range append(slices.Clone(e.Named), e.Others...) {
-		k.That(n >= 0, at("named"), "%d is negative", n)
+		k.Require(n >= 0, at("named"), "%d is negative", n)
 	}
-	stricttoml.Word(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
-	k.That(e.Way == "" || e.What == "sever" || e.What == "part", at("way"), "is for sever and part only")
-	k.That(kind.nodes || e.Kind == "", at("kind"), "%q does not happen to endpoints", e.What)
+	stricttoml.Enum(k, at("way"), e.Way, map[string]bool{"": true, "to": true, "from": true})
+	k.Require(e.Way == "" || e.What == "sever" || e.What == "part", at("way"), "is for sever and part only")
+	k.Require(kind.nodes || e.Kind == "", at("kind"), "%q does not happen to endpoints", e.What)
 	checkRange(k, at("part"), e.Part, 0, 1)
-	k.That(len(e.Part) == 0 || e.Count == 0, at("count"), "either a part or a count")
-	k.That(e.Count >= 0, at("count"), "%d is negative", e.Count)
-	k.That((len(e.Size) > 0) == (kind.size != ""), at("size"), "%q takes %s", e.What, sizeText(kind.size))
+	k.Require(len(e.Part) == 0 || e.Count == 0, at("count"), "either a part or a count")
+	k.Require(e.Count >= 0, at("count"), "%d is negative", e.Count)
+	k.Require((len(e.Size) > 0) == (kind.size != ""), at("size"), "%q takes %s", e.What, sizeText(kind.size))
 	switch e.What {
 	case "slow", "lies":
 		checkRange(k, at("size"), e.Size, 1, 1000)
@@ -543,16 +543,16 @@
 	case "liar":
 		checkRange(k, at("size"), e.Size, 1, 1e9)
 	case "cut":
-		k.That(e.Zone != "", at("zone"), "is missing: which zone is cut off")
-		k.That(e.To != e.Zone, at("to"), "a zone cannot be cut off from itself")
-	}
-	k.That(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
-	k.That(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
-	k.That(!e.One || e.What == "surge", at("one"), "is for surge only")
-	k.That(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" || e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
-	k.That(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
-	k.That(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
-	k.That(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil, at("for"), "is missing")
+		k.Require(e.Zone != "", at("zone"), "is missing: which zone is cut off")
+		k.Require(e.To != e.Zone, at("to"), "a zone cannot be cut off from itself")
+	}
+	k.Require(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
+	k.Require(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
+	k.Require(!e.One || e.What == "surge", at("one"), "is for surge only")
+	k.Require(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" || e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
+	k.Require(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
+	k.Require(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
+	k.Require(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil, at("for"), "is missing")
 }
 
 func sizeText(size string) string {
--- a/internal/stricttoml/lines.go
+++ b/internal/stricttoml/lines.go
@@ -11,16 +11,16 @@
 // keyLines tells on which line each key of a text stands, with places in lists of tables from 0. The text must
 // be sound TOML. The library tells lines of what it cannot decode only, not of what makes no sense afterwards.
 func keyLines(text []byte) map[string]int {
-	lines, _ := keys(text)
+	lines, _ := scanKeys(text)
 	return lines
 }
 
 // ruler tells the lines of offsets. The library counts them from the beginning for each, which takes a minute for a text of
 // ten thousand tables.
-type ruler []uint32 // the offset of each line's first byte
+type lineIndex []uint32 // the offset of each line's first byte
 
-func newRuler(text []byte) ruler {
-	r := ruler{0}
+func newLineIndex(text []byte) lineIndex {
+	r := lineIndex{0}
 	for i, b := range text {
 		if b == '\n' {
 			r = append(r, uint32(i+1))
@@ -30,7 +30,7 @@
 }
 
 // line returns the line, from 1, on which a range begins.
-func (r ruler) line(at unstable.Range) int {
+func (r lineIndex) line(at unstable.Range) int {
 	i, found := slices.BinarySearch(r, at.Offset)
 	if found {
 		i++
@@ -40,13 +40,13 @@
 
 // Places returns a function that tells in which table a line of a sound text stands, by its key with places in lists, "" before
 // the first.
-func Places(text []byte) func(line int) string {
+func TableLookup(text []byte) func(line int) string {
 	type head struct {
 		line int
 		key  string
 	}
 	var heads []head
-	counts, lineOf := map[string]int{}, newRuler(text)
+	counts, lineOf := map[string]int{}, newLineIndex(text)
 	var p unstable.Parser
 	p.Reset(text)
 	for p.NextExpression() {
@@ -60,11 +60,11 @@
 			key = append(key, string(it.Node().Data))
 			line = lineOf.line(it.Node().Raw)
 		}
-		full := inLists(key, counts)
+		full := withListIndexes(key, counts)
 		if e.Kind == unstable.ArrayTable {
 			name := strings.Join(full, ".")
 			counts[name]++
-			full = append(inLists(key[:len(key)-1], counts), key[len(key)-1], strconv.Itoa(counts[name]-1))
+			full = append(withListIndexes(key[:len(key)-1], counts), key[len(key)-1], strconv.Itoa(counts[name]-1))
 		}
 		heads = append(heads, head{line, strings.Join(full, ".")})
 	}
@@ -81,16 +81,16 @@
 }
 
 // number is a key whose value is written as a number.
-type number struct {
+type numberValue struct {
 	key, text string
 	line      int
 }
 
 // keys tells the lines of all keys, and which have numbers.
-func keys(text []byte) (map[string]int, []number) {
+func scanKeys(text []byte) (map[string]int, []numberValue) {
 	lines := map[string]int{}
-	var numbers []number
-	counts, lineOf := map[string]int{}, newRuler(text) // tables in a list so far
+	var numbers []numberValue
+	counts, lineOf := map[string]int{}, newLineIndex(text) // tables in a list so far
 	var table []string
 	var p unstable.Parser
 	p.Reset(text)
@@ -105,27 +105,27 @@
 		}
 		switch e.Kind {
 		case unstable.Table:
-			table = inLists(key, counts)
+			table = withListIndexes(key, counts)
 			lines[strings.Join(table, ".")] = line
 		case unstable.ArrayTable:
-			name := strings.Join(inLists(key, counts), ".")
+			name := strings.Join(withListIndexes(key, counts), ".")
 			counts[name]++
-			table = append(inLists(key[:len(key)-1], counts), key[len(key)-1], strconv.Itoa(counts[name]-1))
+			table = append(withListIndexes(key[:len(key)-1], counts), key[len(key)-1], strconv.Itoa(counts[name]-1))
 			lines[strings.Join(table, ".")] = line
 		case unstable.KeyValue:
 			at := append(append([]string{}, table...), key...)
 			lines[strings.Join(at, ".")] = line
 			if v := e.Value(); v.Kind == unstable.Integer || v.Kind == unstable.Float {
-				numbers = append(numbers, number{strings.Join(at, "."), string(v.Data), line})
+				numbers = append(numbers, numberValue{strings.Join(at, "."), string(v.Data), line})
 			}
-			inline(lineOf, e.Value(), at, lines)
+			recordInlineKeys(lineOf, e.Value(), at, lines)
 		}
 	}
 	return lines, numbers
 }
 
 // inLists puts the places in lists of tables into a key: a part of it that is such a list means its latest table.
-func inLists(key []string, counts map[string]int) []string {
+func withListIndexes(key []string, counts map[string]int) []string {
 	var full []string
 	for i, part := range key {
 		full = append(full, part)
@@ -137,7 +137,7 @@
 }
 
 // inline notes the keys of tables written on the line of a value.
-func inline(lineOf ruler, v *unstable.Node, at []string, lines map[string]int) {
+func recordInlineKeys(lineOf lineIndex, v *unstable.Node, at []string, lines map[string]int) {
 	switch v.Kind {
 	case unstable.InlineTable:
 		for it := v.Children(); it.Next(); {
@@ -149,12 +149,12 @@
 				line = lineOf.line(k.Node().Raw)
 			}
 			lines[strings.Join(key, ".")] = line
-			inline(lineOf, kv.Value(), key, lines)
+			recordInlineKeys(lineOf, kv.Value(), key, lines)
 		}
 	case unstable.Array:
 		i := 0
 		for it := v.Children(); it.Next(); i++ {
-			inline(lineOf, it.Node(), append(append([]string{}, at...), strconv.Itoa(i)), lines)
+			recordInlineKeys(lineOf, it.Node(), append(append([]string{}, at...), strconv.Itoa(i)), lines)
 		}
 	}
 }
--- a/internal/stricttoml/strict.go
+++ b/internal/stricttoml/strict.go
@@ -72,8 +72,8 @@
 		return Errors{{strings.Join(bad.Key(), "."), line, strings.TrimPrefix(bad.Error(), "toml: ")}}
 	}
 	// Where a number stands in place of a value with a unit, the library does not say where.
-	if unit := (*badUnit)(nil); errors.As(err, &unit) {
-		_, numbers := keys(text)
+	if unit := (*unitError)(nil); errors.As(err, &unit) {
+		_, numbers := scanKeys(text)
 		for _, n := range numbers {
 			if n.text == unit.text {
 				return Errors{{n.key, n.line, err.Error()}}
@@ -84,23 +84,23 @@
 }
 
 // Check gathers what makes no sense in a file.
-type Check struct {
+type Validation struct {
 	Lines map[string]int // as Decode returns them
 
-	errs Errors
+	errors Errors
 }
 
 // Err returns all that was found, in the order of lines, as Errors; nil if nothing was.
-func (k *Check) Err() error {
-	if len(k.errs) == 0 {
+func (k *Validation) Err() error {
+	if len(k.errors) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(k.errs, func(a, b *Error) int { return a.Line - b.Line })
-	return k.errs
+	slices.SortStableFunc(k.errors, func(a, b *Error) int { return a.Line - b.Line })
+	return k.errors
 }
 
 // That notes an error of a key unless it is so.
-func (k *Check) That(ok bool, key, reason string, args ...any) {
+func (k *Validation) Require(ok bool, key, reason string, args ...any) {
 	if ok {
 		return
 	}
@@ -111,7 +111,7 @@
 			break
 		}
 	}
-	k.errs = append(k.errs, &Error{key, line, fmt.Sprintf(reason, args...)})
+	k.errors = append(k.errors, &Error{key, line, fmt.Sprintf(reason, args...)})
 }
 
 func cutLast(key string) (before, after string, found bool) {
@@ -122,15 +122,15 @@
 }
 
 // Word returns the meaning of a word.
-func Word[T any](k *Check, key, value string, words map[string]T) T {
-	v, ok := words[value]
+func Enum[T any](k *Validation, key, value string, values map[string]T) T {
+	v, ok := values[value]
 	if !ok {
 		var known []string
-		for w := range words {
-			known = append(known, fmt.Sprintf("%q", w))
+		for name := range values {
+			known = append(known, fmt.Sprintf("%q", name))
 		}
 		slices.Sort(known)
-		k.That(false, key, "%q is none of %s", value, strings.Join(known, ", "))
+		k.Require(false, key, "%q is none of %s", value, strings.Join(known, ", "))
 	}
 	return v
 }
--- a/internal/stricttoml/strict_test.go
+++ b/internal/stricttoml/strict_test.go
@@ -33,10 +33,10 @@
 	if err != nil || f.List[1].Size.Bytes != 1024 {
 		t.Fatal(err, f)
 	}
-	k := Check{Lines: lines}
-	k.That(false, "list.1.size", "is %d", 1)
-	k.That(false, "list.0.size", "is missing")
-	k.That(true, "name", "is fine")
+	k := Validation{Lines: lines}
+	k.Require(false, "list.1.size", "is %d", 1)
+	k.Require(false, "list.0.size", "is missing")
+	k.Require(true, "name", "is fine")
 	if got := k.Err().Error(); got != "line 2: list.0.size: is missing\nline 4: list.1.size: is 1" {
 		t.Errorf("got %s", got)
 	}
--- a/internal/stricttoml/units.go
+++ b/internal/stricttoml/units.go
@@ -9,29 +9,29 @@
 )
 
 // badUnit is the error of a value that should have a unit.
-type badUnit struct{ text, reason string }
+type unitError struct{ text, reason string }
 
-func (e *badUnit) Error() string { return strconv.Quote(e.text) + " " + e.reason }
+func (e *unitError) Error() string { return strconv.Quote(e.text) + " " + e.reason }
 
-func unitError(text []byte, reason string) error { return &badUnit{string(text), reason} }
+func newUnitError(text []byte, reason string) error { return &unitError{string(text), reason} }
 
 // Duration is a time with its unit, as "250ms" or "1m30s". It is never negative. Like the others here it is no
 // plain number, so that a number without a unit is an error and not a time in units of the program's choice.
 type Duration struct{ time.Duration }
 
 // DurationMost is the longest time that a file may have: what is longer is a slip of the pen.
-const DurationMost = 24 * time.Hour
+const MaxDuration = 24 * time.Hour
 
 // UnmarshalText reads a duration.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	switch {
 	case err != nil:
-		return unitError(text, "is no time with a unit, as \"250ms\", \"15s\" or \"2m\"")
+		return newUnitError(text, "is no time with a unit, as \"250ms\", \"15s\" or \"2m\"")
 	case v < 0:
-		return unitError(text, "is negative")
-	case v > DurationMost:
-		return unitError(text, "is over 24h: no time in this file is meant to be so long")
+		return newUnitError(text, "is negative")
+	case v > MaxDuration:
+		return newUnitError(text, "is over 24h: no time in this file is meant to be so long")
 	}
 	d.Duration = v
 	return nil
@@ -51,16 +51,16 @@
 	from, to, two := strings.Cut(string(text), "..")
 	var ends [2]Duration
 	if err := ends[0].UnmarshalText([]byte(from)); err != nil {
-		return unitError(text, "is no time or span of times, as \"5s\" or \"5s..8s\"")
+		return newUnitError(text, "is no time or span of times, as \"5s\" or \"5s..8s\"")
 	}
 	ends[1] = ends[0]
 	if two {
 		if err := ends[1].UnmarshalText([]byte(to)); err != nil {
-			return unitError(text, "is no span of times, as \"5s..8s\"")
+			return newUnitError(text, "is no span of times, as \"5s..8s\"")
 		}
 	}
 	if ends[1].Duration < ends[0].Duration {
-		return unitError(text, "ends before it begins")
+		return newUnitError(text, "ends before it begins")
 	}
 	s.From, s.To = ends[0].Duration, ends[1].Duration
 	return nil
@@ -77,14 +77,14 @@
 // Size is a number of bytes with its unit, as "64KiB". It is never negative.
 type Size struct{ Bytes int64 }
 
-var sizes = []struct {
+var sizeUnits = []struct {
 	unit  string
 	bytes int64
 }{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
 
 // UnmarshalText reads a size.
 func (s *Size) UnmarshalText(text []byte) error {
-	for _, u := range sizes {
+	for _, u := range sizeUnits {
 		number, ok := strings.CutSuffix(string(text), u.unit)
 		if !ok {
 			continue
@@ -96,7 +96,7 @@
 		s.Bytes = v * u.bytes
 		return nil
 	}
-	return unitError(text, "is no size with a unit, as \"512B\", \"64KiB\", \"4MiB\" or \"1GiB\"")
+	return newUnitError(text, "is no size with a unit, as \"512B\", \"64KiB\", \"4MiB\" or \"1GiB\"")
 }
 
 // Mode is the permissions of a file in octal, as "0660".
@@ -106,7 +106,7 @@
 func (m *Mode) UnmarshalText(text []byte) error {
 	v, err := strconv.ParseUint(string(text), 8, 32)
 	if err != nil || v > 0o777 {
-		return unitError(text, "are no permissions in octal, as \"0660\"")
+		return newUnitError(text, "are no permissions in octal, as \"0660\"")
 	}
 	m.Bits = os.FileMode(v)
 	return nil
