--- a/internal/decide/concurrency/limiter.go
+++ b/internal/decide/concurrency/limiter.go
@@ -25,10 +25,10 @@
 
 // Limiter is an adaptive limit on the requests in flight. Make one with New; it is for one goroutine at a time.
 type Limiter struct {
-	settings Settings
-	rand     hash64.Source
-	limit    float64
-	doubling bool // the limit was never too high, and grows by half (slow start)
+	settings  Settings
+	rand      hash64.Source
+	limit     float64
+	slowStart bool // the limit was never too high, and grows by half (slow start)
 
 	baselines []baseline // by class
 
@@ -59,7 +59,7 @@
 		settings:     s,
 		rand:         hash64.Source(s.Seed),
 		limit:        float64(s.Initial),
-		doubling:     true,
+		slowStart:    true,
 		baselines:    make([]baseline, s.Classes),
 		measuring:    true,
 		measureUntil: math.MaxInt64,
@@ -122,7 +122,7 @@
 		l.baselines[i].samples = baselineSamples
 	}
 	l.limit = min(float64(l.settings.Max), max(float64(l.settings.Min), limit))
-	l.doubling = false
+	l.slowStart = false
 	l.endMeasurement(now)
 }
 
@@ -134,14 +134,14 @@
 	shrinkAbove := shrinkWaiting + l.settings.ShrinkThreshold*l.limit
 	switch {
 	case waiting > shrinkAbove:
-		l.doubling = false
+		l.slowStart = false
 		l.limit -= max(1, (waiting-shrinkAbove)/2)
-	case waiting < growBelow && l.limitReached && l.doubling:
+	case waiting < growBelow && l.limitReached && l.slowStart:
 		l.limit *= 1.5
 	case waiting < growBelow && l.limitReached:
 		l.limit += max(1, l.limit/16)
 	case waiting >= growBelow:
-		l.doubling = false
+		l.slowStart = false
 	}
 	l.limit = min(float64(l.settings.Max), max(float64(l.settings.Min), l.limit))
 }
--- a/internal/decide/concurrency/limiter_test.go
+++ b/internal/decide/concurrency/limiter_test.go
@@ -8,7 +8,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const ms monotime.Micros = 1000
+const ms = monotime.Millisecond
 
 // serverPool is a number of servers with one queue, in simulated time, which get requests as fast as the limit allows.
 type serverPool struct {
--- a/internal/decide/concurrency/settings.go
+++ b/internal/decide/concurrency/settings.go
@@ -18,7 +18,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+const second = monotime.Second
 
 // Settings configure a Limiter.
 type Settings struct {
--- a/internal/decide/fairqueue/fairqueue.go
+++ b/internal/decide/fairqueue/fairqueue.go
@@ -17,7 +17,7 @@
 
 import "dunlinsail/internal/monotime"
 
-const second monotime.Micros = 1_000_000
+const second = monotime.Second
 
 // Request is a client's request.
 type Request struct {
--- a/internal/decide/fairqueue/fairqueue_test.go
+++ b/internal/decide/fairqueue/fairqueue_test.go
@@ -13,7 +13,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const ms monotime.Micros = 1000
+const ms = monotime.Millisecond
 
 // simulation runs requests in simulated time: an admitted request is in flight for its service time and then done.
 type simulation struct {
--- a/internal/decide/overload/settings.go
+++ b/internal/decide/overload/settings.go
@@ -22,7 +22,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+const second = monotime.Second
 
 // Class is a class of requests.
 type Class struct {
@@ -48,7 +48,7 @@
 	Tenants         []Tenant
 	OverShareWeight float64 // factor on the priority weight of requests over their tenant's share, 0 to 1
 	Goal            Goal
-	Instances       int // in the fleet as far as known, this one included; divides MinEndpointProbes only
+	Instances       int // in the fleet as far as known, this one included
 	Seed            uint64
 
 	// Retries and hedged requests for each first attempt that was accepted, within any second: as a rule, and
--- a/internal/decide/zones/settings.go
+++ b/internal/decide/zones/settings.go
@@ -19,7 +19,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const second monotime.Micros = 1_000_000
+const second = monotime.Second
 
 // maxZones bounds Settings.Zones.
 const maxZones = 64
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-const ms monotime.Micros = 1000
+const ms = monotime.Millisecond
 
 func testSettings(instances int) Settings {
 	return Settings{
