--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -65,11 +65,11 @@
 	}
 	r.work = c.meanWork.value
 	if in.HasWorkHint && in.WorkHint > 0 {
-		c.meanWork.add(float64(in.WorkHint), 0.02)
+		c.meanWork.add(float64(in.WorkHint), slowWeight)
 		r.logHintRatio = math.Log(float64(in.WorkHint) / c.meanWork.value)
 		r.work = c.meanWork.value * math.Exp(b.hintTrust*r.logHintRatio)
 	}
-	b.meanWork.add(r.work, 0.02)
+	b.meanWork.add(r.work, slowWeight)
 	if now >= in.Deadline || b.openRequests > b.settings.Limits.MaxOpenRequests {
 		b.reject(r)
 		return
--- a/balancer/latency.go
+++ b/balancer/latency.go
@@ -96,10 +96,10 @@
 	switch {
 	case atLeast || e.isWarmingUp:
 	case r.HasWorkHint:
-		b.fleetServiceTimeRatio.add(observed, 0.02)
+		b.fleetServiceTimeRatio.add(observed, slowWeight)
 	default:
 		// Without hints a class's work is its mean service time, and the fleet's ratio is 1.
-		b.classes[r.Class].meanWork.add(observed*r.work/known, 0.02)
+		b.classes[r.Class].meanWork.add(observed*r.work/known, slowWeight)
 	}
 }
 
--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -124,7 +124,7 @@
 
 // recordReport feeds a probe's round trip and report to the averages, and puts the endpoint into the pool.
 func (b *Balancer) recordReport(now monotime.Micros, e *endpoint, latency monotime.Micros, load []float32) {
-	e.rtt.add(float64(latency), 0.25)
+	e.rtt.add(float64(latency), fastWeight)
 	report := parseLoadReport(b.settings.LoadMetrics, load)
 	if report.serviceTime >= 0 {
 		b.serviceTime.add(report.serviceTime, 1.0/probePoolSize)
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -14,7 +14,7 @@
 // finishRequest marks that the final answer is out. The record stays while attempts are in flight.
 func (b *Balancer) finishRequest(r *request) {
 	if !r.finished {
-		b.classes[r.Class].onTimeRatio.add(r.onTime, 0.02)
+		b.classes[r.Class].onTimeRatio.add(r.onTime, slowWeight)
 		r.finished = true
 		b.openRequests--
 		if r.queued {
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -13,6 +13,12 @@
 	samples float64
 }
 
+// Weights of one sample in moving averages.
+const (
+	slowWeight = 0.02
+	fastWeight = 0.25
+)
+
 // manySamples has an average start with its value: each sample counts by its weight only.
 const manySamples = 1e9
 
