--- /dev/null
+++ b/internal/config/clients.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"strings"
+
+	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/stricttoml"
+)
+
+// Listener is where clients connect.
+type Listener struct {
+	Name    string          `toml:"name"`
+	Address string          `toml:"address"` // host:port on loopback, or unix:/path
+	Client  string          `toml:"client"`  // whose connections these are; on a unix socket, only where no uid or gid tells
+	Mode    stricttoml.Mode `toml:"mode"`    // of a unix socket
+}
+
+// Network returns the listener's network and address as package net takes them.
+func (l *Listener) Network() (network, address string) {
+	if path, ok := strings.CutPrefix(l.Address, "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", l.Address
+}
+
+// Bounds are what one client may do. 0 is no bound.
+type Bounds struct {
+	Weight      float64         `toml:"weight"`
+	Connections int             `toml:"connections"`
+	Open        int             `toml:"open_requests"`
+	Bytes       stricttoml.Size `toml:"bytes_held"`
+	Rate        float64         `toml:"requests_per_second"`
+	Burst       float64         `toml:"burst"` // requests at once; 0 is a tenth of a second's
+}
+
+// Share returns the bounds as the decisions between clients take them.
+func (b *Bounds) Share(name string) fairqueue.ClientSpec {
+	s := fairqueue.ClientSpec{Name: name, Weight: b.Weight, MaxOpen: b.Open, Rate: b.Rate, Burst: b.Burst}
+	if s.Rate > 0 && s.Burst == 0 {
+		s.Burst = max(1, s.Rate/10)
+	}
+	return s
+}
+
+// Client is a client by name.
+type Client struct {
+	Name string `toml:"name"`
+	Bounds
+	UIDs       []uint32 `toml:"uids"`
+	GIDs       []uint32 `toml:"gids"`
+	PerProcess bool     `toml:"per_process"` // each process on a unix socket is a client of its own, with these bounds
+}
--- /dev/null
+++ b/internal/config/validate_control.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"net"
+	"reflect"
+	"strings"
+	"time"
+)
+
+func (k *check) control(c *Config) {
+	n := &c.Control
+	on := n.Address != ""
+	host, _, _ := net.SplitHostPort(n.Address)
+	ip := net.ParseIP(host)
+	k.Require(!on || hostPort(n.Address, 1), "control.address", "%q is no host:port with a port in 1..65535", n.Address)
+	k.Require(!on || n.State != "", "control.state", "is missing: a folder where the last good version is kept")
+	k.Require(n.State == "" || strings.HasPrefix(n.State, "/"), "control.state", "%q: must begin with /", n.State)
+	k.Require(!on || n.Plaintext || n.CA != "" && n.Cert != "" && n.Key != "", "control.ca", "ca, cert and key are needed: both sides must be vouched for")
+	k.Require(!n.Plaintext || n.CA == "" && n.Cert == "" && n.Key == "", "control.plaintext", "means that there is no ca, cert or key")
+	k.Require(!on || !n.Plaintext || ip != nil && ip.IsLoopback(), "control.plaintext", "is for a service on a loopback address only, not %q", n.Address)
+	k.Require(n.Margin >= 0 && n.Margin < 1, "control.trial_margin", "%v: must be in 0..1, not 1", n.Margin)
+	k.Require(n.Alpha > 0 && n.Alpha < 0.5, "control.trial_alpha", "%v: must be over 0, under 0.5", n.Alpha)
+	k.Require(n.Trial.Duration == 0 || n.Trial.Duration >= time.Second, "control.trial", "%v: must be \"0s\" or at least 1s", n.Trial)
+	k.Require(n.Gap.Duration >= 10*time.Millisecond, "control.gap", "%v: must be at least 10ms", n.Gap)
+	k.Require(n.SizeMost.Bytes >= 4<<10 && n.SizeMost.Bytes <= 64<<20, "control.size_most", "must be in 4KiB..64MiB")
+	k.Require(n.RetryMost.Duration >= 100*time.Millisecond, "control.retry_most", "%v: must be at least 100ms", n.RetryMost)
+	kinds := Kinds()
+	for _, pin := range n.Pin {
+		kind, of, two := strings.Cut(pin, ".")
+		known, ok := kinds[kind]
+		k.Require(ok, "control.pin", "%q: %q is no table that a version may hold", pin, kind)
+		if ok && two && !known.List {
+			k.Require(hasKey(known.Type, of), "control.pin", "%q: the table %s has no key %q", pin, kind, of)
+		}
+	}
+}
+
+// hasKey says whether tables of a type have a key.
+func hasKey(t reflect.Type, key string) bool {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Tag.Get("toml") == key || f.Anonymous && f.Tag.Get("toml") == "" && hasKey(f.Type, key) {
+			return true
+		}
+	}
+	return false
+}
