--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/takeover"
 )
 
-// operate serves operators' calls, where an address for them is set.
+// serveAdmin serves operators' calls, where an address for them is configured.
 func (d *generation) serveAdmin() error {
 	addr := d.config.Operators.Address
 	if addr == "" || d.stopAdmin != nil {
@@ -19,7 +19,8 @@
 	}
 	var ln net.Listener
 	var err error
-	for end := time.Now().Add(bindTimeout); ; time.Sleep(bindRetryInterval) { // the process before this one may still have it
+	// The predecessor may still have the address.
+	for end := time.Now().Add(bindTimeout); ; time.Sleep(bindRetryInterval) {
 		if ln, err = net.Listen("tcp", addr); err == nil || time.Now().After(end) {
 			break
 		}
@@ -48,12 +49,25 @@
 	}
 }
 
-// desk answers operators' calls.
+// readiness reports whether requests can be served, and if not, why.
+func (d *generation) readiness() (ready bool, why string) {
+	return d.core.Ready(), "no endpoint is known to serve"
+}
+
+// adminBackend answers operators' calls.
 func (d *generation) adminBackend() admin.Desk {
-	return admin.Desk{Ready: func() (bool, string) { return d.core.Ready(), "no endpoint is known to serve" }, Figures: d.metrics, ByHand: d.setCordon, Members: d.fleetView, Work: d.work, Log: d.log}
+	return admin.Desk{
+		Ready:   d.readiness,
+		Figures: d.metrics,
+		ByHand:  d.setCordon,
+		Members: d.fleetView,
+		Work:    d.work,
+		Log:     d.log,
+	}
 }
 
-// byHand takes an endpoint out, or lets it in again. It holds at this instance, and goes with its place.
+// setCordon cordons an endpoint by name or address, or lifts the cordon. It holds at this instance, and is part
+// of its snapshot.
 func (d *generation) setCordon(ctx context.Context, target string, out bool) error {
 	_, known, err := d.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	if err == nil && !known {
@@ -62,7 +76,7 @@
 	return err
 }
 
-// figures returns the figures of one moment, a line each.
+// metrics returns the metrics of one moment, a line each.
 func (d *generation) metrics(ctx context.Context) ([]byte, error) {
 	f, err := d.core.Statistics(ctx, func() {})
 	if err != nil {
--- a/internal/daemon/canary.go
+++ b/internal/daemon/canary.go
@@ -7,10 +7,16 @@
 	"dunlinsail/internal/decide/canary"
 )
 
-// try begins a trial of what runs now against what was good until then.
+// startCanary begins the canary analysis of the configuration that runs now against the one that was good until
+// then.
 func (p *process) startCanary() {
 	c := &p.control
-	s := canary.Settings{Duration: c.Trial.Micros(), HarmMargin: c.Margin, Alpha: c.Alpha, MaxExtensions: maxCanaryRestarts}
+	s := canary.Settings{
+		Duration:      c.Trial.Micros(),
+		HarmMargin:    c.Margin,
+		Alpha:         c.Alpha,
+		MaxExtensions: maxCanaryRestarts,
+	}
 	s.MinDuration = min(s.Duration/4, 5_000_000)
 	var err error
 	if p.canary, err = canary.NewAnalysis(s, p.baselineSamples...); err != nil {
@@ -29,7 +35,7 @@
 	t.take() // what was before
 }
 
-// sample takes in what came of requests in the last slot.
+// takeSample takes in the outcomes of requests in the last interval.
 func (p *process) takeSample() {
 	at := time.Now()
 	length := at.Sub(p.lastSample)
--- a/internal/daemon/canary_tally.go
+++ b/internal/daemon/canary_tally.go
@@ -9,15 +9,17 @@
 	"dunlinsail/internal/frontend/http1"
 )
 
-// tally sums up what came of a generation's requests, so that one configuration can be held against another. Both must be
-// judged by the same aims and worths, or one that only asks for less would look better.
+// canaryTally sums up the outcomes of a generation's requests, so that one configuration can be compared with
+// another. Both must be measured by the same objectives and weights, or one that only demands less would look
+// better.
 type canaryTally struct {
 	mu         sync.Mutex
 	objectives []balancer.Class // by the places of the generation's classes
 	sample     canary.Sample
 }
 
-// by says by which classes is judged from now on: those of the same name, else the generation's own.
+// setObjectives sets the classes by which outcomes are measured from now on: those of the same name, else the
+// generation's own.
 func (t *canaryTally) setObjectives(own, judges []balancer.Class) {
 	all := append([]balancer.Class(nil), own...)
 	for i := range all {
@@ -32,7 +34,7 @@
 	t.mu.Unlock()
 }
 
-// add takes in a request that is over. One whose client left before its time was up tells nothing.
+// add takes in a finished request. One whose client left before its deadline is not counted.
 func (t *canaryTally) add(x *http1.Exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -13,16 +13,16 @@
 	"dunlinsail/internal/frontend/http1"
 )
 
-// clients tells whose a connection is: by the listener that it uses and, on a unix socket, by what the kernel says
-// of the process that connected (SO_PEERCRED, unix(7)). That holds however the connection goes on: handed over to
-// another process, it is told the same there.
+// clients finds whose a connection is: by the listener that it uses and, on a unix socket, by the kernel's
+// credentials of the process that connected (SO_PEERCRED, unix(7)). After a hot restart the successor finds the
+// same.
 type clients struct {
 	front *http1.Front
 
 	mu        sync.Mutex
 	config    *config.Config
 	byName    map[string]*http1.Client
-	others    *http1.Client // nil where those who are not named are turned away
+	others    *http1.Client // nil where clients that are not named are rejected
 	processes map[clientProcess]*processClient
 }
 
@@ -32,15 +32,15 @@
 	pid    int32
 }
 
-// single is the account of one process.
+// processClient is the account of one client process.
 type processClient struct {
 	client      *http1.Client
 	connections int
 	idleSince   time.Time // without any connection
 }
 
-// singleTime is how long the account of a process without connections is kept: what it may ask in a second must not
-// begin anew with each connection.
+// processClientTTL is how long the account of a process without connections is kept: its rate limit must not
+// start anew with each connection.
 const processClientTTL = 10 * time.Second
 
 const othersName = "others"
@@ -100,7 +100,9 @@
 			return changed, err
 		}
 	}
-	k.config, k.byName, k.others = c, byName, others
+	k.config = c
+	k.byName = byName
+	k.others = others
 	return changed, nil
 }
 
@@ -155,7 +157,7 @@
 	return nil, pid, nil
 }
 
-// singleLocked returns the account of one process.
+// processClientLocked returns the account of one process.
 func (k *clients) processClientLocked(rule *config.Client, pid int32) (*http1.Client, func(), error) {
 	for p, s := range k.processes {
 		if s.connections == 0 && time.Since(s.idleSince) > processClientTTL {
@@ -208,7 +210,7 @@
 	Bytes       int64
 }
 
-// held tells what is held for each client.
+// held returns what is in use by each client.
 func (k *clients) held() []Held {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -16,8 +16,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// settling is a generation's part in settling in which order machines go out for work: a goroutine of its own, since it keeps a log on
-// disk. The core is told what it has to obey, and requests never wait for any of it.
+// consensusMember is a generation's part in the consensus on the maintenance plan. It has a goroutine of its
+// own, since it keeps a log on disk. The core gets the plan, and requests never wait for any of it.
 type consensusMember struct {
 	generation *generation
 	node       *consensus.Node
@@ -42,13 +42,20 @@
 	tickInterval    = 10 * time.Millisecond
 )
 
-// settles begins it, where the configuration says so. From then on nothing goes anywhere until an order has been heard.
+// startConsensus starts the consensus member, where the configuration says so. From then on requests are sent
+// only once a plan has been received.
 func (d *generation) startConsensus() error {
 	s := d.config.Consensus()
 	if s == nil || d.consensus != nil {
 		return nil
 	}
-	x := &consensusMember{generation: d, events: make(chan func(), 1024), done: make(chan struct{}), open: map[string]int{}, replies: map[uint64]chan consensus.OperatorReply{}}
+	x := &consensusMember{
+		generation: d,
+		events:     make(chan func(), 1024),
+		done:       make(chan struct{}),
+		open:       map[string]int{},
+		replies:    map[uint64]chan consensus.OperatorReply{},
+	}
 	var disk consensus.LogStore
 	if path := d.config.Work.State; path != "" {
 		var err error
@@ -80,7 +87,8 @@
 	return nil
 }
 
-// unsettles ends it, and returns what is obeyed: it is obeyed on here until it holds no more.
+// stopConsensus stops the consensus member, and returns the plan that is applied: it is applied here until its
+// lease ends.
 func (d *generation) stopConsensus() (o *engine.MaintenancePlan) {
 	if x := d.consensus; x != nil {
 		x.cancel()
@@ -97,7 +105,7 @@
 	return o
 }
 
-// hear takes a word in. It never waits: what is too much is lost, as on any way.
+// receive takes in a message. It never waits: a message that does not fit the buffer is lost.
 func (x *consensusMember) receive(from string, w consensus.Message) {
 	select {
 	case x.events <- func() { x.node.Receive(x.generation.clock.Now(), from, w) }:
@@ -125,7 +133,8 @@
 	}
 }
 
-// stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
+// observeMachines reads what is in flight at excluded and announced machines, and once in a while the status of
+// all machines.
 func (x *consensusMember) observeMachines(now monotime.Micros) {
 	order, _, _ := x.node.PlanFollower().CurrentPlan()
 	names := append(append([]string(nil), order.Excluded...), order.Announced...)
@@ -133,18 +142,21 @@
 		return
 	}
 	f, open := x.generation.core.MaintenanceStatus(names)
-	x.open, x.factsTime = open, now
+	x.open = open
+	x.factsTime = now
 	round := func(v float64) float64 { return math.Round(v*20) / 20 } // what hardly changes is not logged
 	if f.Usage > x.peak || now >= x.peakTime+peakWindow {
-		x.peak, x.peakTime = f.Usage, now
+		x.peak = f.Usage
+		x.peakTime = now
 	}
-	f.Usage, f.PeakUsage = round(f.Usage), round(x.peak)
+	f.Usage = round(f.Usage)
+	f.PeakUsage = round(x.peak)
 	x.facts = f
 }
 
 func (x *consensusMember) machineFacts() maintenance.FleetStatus { return x.facts }
 
-// after carries words, has the core obey, and hands answers to who waits for them.
+// publish sends messages, passes the plan to the core, and answers operators that wait.
 func (x *consensusMember) publish() {
 	p := x.generation.gossip.Load()
 	for _, o := range x.node.TakeOutgoing() {
@@ -153,7 +165,13 @@
 		}
 	}
 	order, until, end := x.node.PlanFollower().CurrentPlan()
-	o := engine.MaintenancePlan{AwaitingPlan: !x.node.PlanFollower().HasPlan(), Excluded: order.Excluded, Announced: order.Announced, LeaseEnd: until, DrainDeadline: end}
+	o := engine.MaintenancePlan{
+		AwaitingPlan:  !x.node.PlanFollower().HasPlan(),
+		Excluded:      order.Excluded,
+		Announced:     order.Announced,
+		LeaseEnd:      until,
+		DrainDeadline: end,
+	}
 	if fmt.Sprint(o) != fmt.Sprint(x.applied) {
 		if fmt.Sprint(o.Excluded) != fmt.Sprint(x.applied.Excluded) {
 			x.generation.log.Info("machines out for work", "out", o.Excluded, "next in line", o.Announced)
@@ -177,10 +195,10 @@
 	}
 }
 
-// errLeaderless is of an order that nobody settles just now.
+// errNoLeader is returned for a request while the consensus has no leader.
 var errNoLeader = errors.New("nobody leads in settling the order just now; say it again")
 
-// say says something for an operator, and waits for its answer.
+// propose submits an operator's request, and waits for its answer.
 func (x *consensusMember) propose(ctx context.Context, put func(now monotime.Micros) uint64) (consensus.OperatorReply, error) {
 	answer := make(chan consensus.OperatorReply, 1)
 	select {
@@ -223,7 +241,13 @@
 	if err := json.Unmarshal(body, &order); err != nil {
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
-	order = maintenance.Command{Request: order.Request, CancelRequest: order.CancelRequest, Complete: order.Complete, Hold: order.Hold, Forget: order.Forget} // an operator says no more
+	order = maintenance.Command{
+		Request:       order.Request,
+		CancelRequest: order.CancelRequest,
+		Complete:      order.Complete,
+		Hold:          order.Hold,
+		Forget:        order.Forget,
+	} // an operator says no more
 	r, err := x.propose(ctx, func(now monotime.Micros) uint64 { return x.node.Submit(now, order) })
 	return []byte(r.Answer), err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,8 @@
 	"dunlinsail/internal/decide/rollout"
 )
 
-// acceptFor is how long a daemon that stops goes on accepting: clients that have just asked where it is still come.
+// stopAcceptDelay is how long a daemon that stops goes on accepting: clients that have just resolved its
+// address still connect.
 const stopAcceptDelay = 300 * time.Millisecond
 
 // Options are what a daemon is started with.
@@ -45,5 +46,5 @@
 	return p.run()
 }
 
-// errf is an error of a part of the start.
+// errorf returns the error of a step of the start.
 func errorf(format string, args ...any) error { return fmt.Errorf(format, args...) }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -18,8 +18,8 @@
 	"dunlinsail/internal/upstream"
 )
 
-// generation is what assemble put together: all that serves by one configuration. A configuration that cannot be changed into
-// while serving has a generation of its own, which takes over from the one before it (life).
+// generation is what assemble put together: all that serves by one configuration. A configuration that cannot
+// be changed into while serving has a generation of its own, which takes over from the one before it (life).
 type generation struct {
 	options   Options
 	config    *config.Config // that it goes by; o.Config is what it was put together by
@@ -61,9 +61,23 @@
 	}
 	d.clock = clk
 	n := &c.Connections
-	d.upstreams = upstream.New(upstream.Options{Clock: clk, Log: o.Log, Most: n.Endpoints,
-		DialTimeout: c.Attempts.DialTimeout.Duration, KeepAlive: c.Site.KeepAlive, Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses})
-	conf := core.Config{Clock: clk, Site: &c.Site, Seed: o.Seed, Concurrency: c.Sharing(), Upstream: d.upstreams, Log: o.Log}
+	d.upstreams = upstream.New(upstream.Options{
+		Clock:       clk,
+		Log:         o.Log,
+		Most:        n.Endpoints,
+		DialTimeout: c.Attempts.DialTimeout.Duration,
+		KeepAlive:   c.Site.KeepAlive,
+		Fields:      c.Site.LoadReportFields,
+		OnAnswers:   c.Site.ReportsOnResponses,
+	})
+	conf := core.Config{
+		Clock:       clk,
+		Site:        &c.Site,
+		Seed:        o.Seed,
+		Concurrency: c.Sharing(),
+		Upstream:    d.upstreams,
+		Log:         o.Log,
+	}
 	if path := c.Peers.SpentLog; path != "" {
 		var err error
 		if d.spentLog, err = openSpentLog(path, o.Log); err != nil {
@@ -139,7 +153,7 @@
 	d.spentLog.close()
 }
 
-// live says whether a configuration can be changed into while serving, and which tables stand in the way.
+// changesLive reports whether a configuration can be applied while serving, and which tables prevent it.
 func (d *generation) changesLive(next *config.Config) (tables []string, ok bool) {
 	tables = d.options.Config.Differs(next) // from what it was put together by, however often it has been changed since
 	return tables, len(tables) == 0
@@ -156,7 +170,19 @@
 		return fmt.Errorf("pools and routes: %w", err)
 	}
 	d.config = next
-	d.log.Info("configuration changed while serving", "clients", changed, "pools", d.pools.names(), "new", added, "gone", removed, "routes", len(next.Routes))
+	d.log.Info(
+		"configuration changed while serving",
+		"clients",
+		changed,
+		"pools",
+		d.pools.names(),
+		"new",
+		added,
+		"gone",
+		removed,
+		"routes",
+		len(next.Routes),
+	)
 	return nil
 }
 
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -13,7 +13,7 @@
 
 // This file has a generation be one of its fleet's instances: what carries words, and who may ask about it.
 
-// join has the core decide together with the others, where the configuration says so.
+// joinCoordination has the core coordinate with the other instances, where the configuration says so.
 func (d *generation) joinCoordination() error {
 	t := d.config.Together(d.options.Seed)
 	if t == nil {
@@ -28,16 +28,25 @@
 	return d.core.JoinFleet(*t)
 }
 
-// bindAgain is how often an address is asked for that the process before this one may still have.
+// bindRetryInterval is how often binding an address is retried that the predecessor may still have.
 const bindRetryInterval = 20 * time.Millisecond
 
-// joinOthers has the instance be among the others. It is for one that serves: no other process of its name is among them.
+// startGossip joins the other instances by gossip. Only a generation that serves may call it: no other process
+// of its name is among them.
 func (d *generation) startGossip() error {
 	c := &d.config.Peers
 	if !c.On || d.gossip.Load() != nil {
 		return nil
 	}
-	o := peers.Options{Name: d.config.Name, Fleet: c.Fleet, Address: c.Address, Join: c.Join, DialVia: c.Via(), Log: d.log, HandleMessage: d.core.ReceiveFleetMessage}
+	o := peers.Options{
+		Name:          d.config.Name,
+		Fleet:         c.Fleet,
+		Address:       c.Address,
+		Join:          c.Join,
+		DialVia:       c.Via(),
+		Log:           d.log,
+		HandleMessage: d.core.ReceiveFleetMessage,
+	}
 	if x := d.consensus; x != nil {
 		o.HandleConsensus = x.receive
 	}
@@ -55,19 +64,20 @@
 	return nil
 }
 
-// leaveOthers ends that. With tell the others are told; without, another process takes its place.
-func (d *generation) stopGossip(tell bool) {
+// stopGossip leaves the other instances. With announce they are notified; without, a successor takes this
+// instance's place.
+func (d *generation) stopGossip(announce bool) {
 	p := d.gossip.Swap(nil)
 	if p == nil {
 		return
 	}
-	if tell {
+	if announce {
 		d.core.HandOverCoordination()
 	}
-	p.Close(tell)
+	p.Close(announce)
 }
 
-// View is what an instance tells of its fleet.
+// View is what an instance returns of its fleet.
 type View struct {
 	Name    string            `json:"Name"`
 	Members []peers.Member    `json:"Members"`
@@ -75,7 +85,7 @@
 	Words   peers.Stats       `json:"Words"`
 }
 
-// view returns it, as JSON.
+// fleetView returns the view of the fleet as JSON.
 func (d *generation) fleetView(ctx context.Context) ([]byte, error) {
 	p := d.gossip.Load()
 	if p == nil {
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -46,8 +46,8 @@
 	State     []byte   `json:"State"`     // the encoded snapshot
 }
 
-// newLifecycle returns the lifecycle of a generation. With a connection to a predecessor in this process it takes over
-// from that and from no other.
+// newLifecycle returns the lifecycle of a generation. With a connection to a predecessor in this process it
+// takes over from that and from no other.
 func newLifecycle(stop context.Context, g *generation, predecessor *takeover.Conn) *lifecycle {
 	settings := g.options.Config.Takeover
 	times := decide.Times{
@@ -153,8 +153,8 @@
 	return nil
 }
 
-// joinFleet joins the fleet and serves operators. That either cannot be had is logged, and no reason not to serve: the
-// instance goes on by itself.
+// joinFleet joins the fleet and serves operators. That either cannot be had is logged, and no reason not to
+// serve: the instance goes on by itself.
 func (l *lifecycle) joinFleet() {
 	if err := l.startConsensus(); err != nil {
 		l.log.Error("consensus not started", "error", err)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -25,8 +25,8 @@
 	acceptLoop sync.WaitGroup
 }
 
-// bindFor is how long a cold start waits for an address that another process holds: one that was told to stop just
-// before goes on accepting for a moment.
+// bindTimeout is how long a start without a predecessor waits for an address that another process holds: one
+// that was told to stop just before goes on accepting for a moment.
 const bindTimeout = 3 * time.Second
 
 // listen opens the listeners of the configuration, those among the offered that it names as they are. On an error
@@ -37,8 +37,9 @@
 		l := &listener{config: conf, identify: d.clients.identify(conf)}
 		for j, name := range names {
 			if offered[j] != nil && (name == conf.Address || offered[j].Addr().String() == conf.Address) {
-				l.socket, offered[j] = offered[j], nil
-				l.keepPath(true) // the giver's still, if this comes to nothing
+				l.socket = offered[j]
+				offered[j] = nil
+				l.keepPath(true) // the predecessor's still, if this start fails
 				break
 			}
 		}
@@ -54,7 +55,7 @@
 	return nil
 }
 
-// open opens one listener. An address in use is waited for.
+// openListener opens one listener, and waits for an address in use.
 func openListener(stop context.Context, conf *config.Listener, wait time.Duration) (net.Listener, error) {
 	network, address := conf.Network()
 	for end := time.Now().Add(wait); ; {
@@ -114,7 +115,7 @@
 	}
 }
 
-// keep says whether a unix socket's path stays when it is closed: another process may listen on it.
+// keepPath sets whether a unix socket's path stays when it is closed: another process may listen on it.
 func (l *listener) keepPath(yes bool) {
 	if u, ok := l.socket.(*net.UnixListener); ok {
 		u.SetUnlinkOnClose(!yes)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -31,10 +31,18 @@
 // newPool adds a pool to the core. begin starts the source of its list.
 func (d *generation) newPool(conf config.Pool, subscribe bool) (*pool, error) {
 	p := &pool{config: conf}
-	c := engine.PoolConfig{Name: conf.Name, Source: conf.Source(), InitialEndpoints: engine.EndpointUpdate{Generation: discovery.NoGeneration},
-		RetryShare: conf.RetryBudget, RetryLeast: conf.Least(), RetryWithin: clock.Micros(conf.RetryWithin()),
-		Overload: d.config.Overload.Decides(d.config.Fleet.Instances),
-		Subset:   d.config.Fleet.Part(), OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) }, SetWatch: func(bool) {}}
+	c := engine.PoolConfig{
+		Name:              conf.Name,
+		Source:            conf.Source(),
+		InitialEndpoints:  engine.EndpointUpdate{Generation: discovery.NoGeneration},
+		RetryShare:        conf.RetryBudget,
+		RetryLeast:        conf.Least(),
+		RetryWithin:       clock.Micros(conf.RetryWithin()),
+		Overload:          d.config.Overload.Decides(d.config.Fleet.Instances),
+		Subset:            d.config.Fleet.Part(),
+		OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) },
+		SetWatch:          func(bool) {},
+	}
 	switch {
 	case conf.Endpoints != nil:
 		c.StaticList = true
@@ -57,23 +65,28 @@
 	return p, err
 }
 
-// watcher returns a watcher of a discovery that tells a pool. It asks for the whole list first.
+// watcher returns a discovery watcher that updates a pool. It requests the complete list first.
 func (d *generation) watcher(p *pool, addr string) *discovery.Watcher {
 	return discovery.NewWatcher(addr, discovery.NoGeneration, int(d.options.Config.Process.Memory.Bytes>>20),
 		func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
 }
 
-// begin starts the source of a pool's list.
+// update passes a new list to the pool.
+func (p *pool) update(ctx context.Context, update engine.EndpointUpdate) {
+	p.endpoints.UpdateEndpoints(ctx, update)
+}
+
+// startSource starts the source of a pool's list.
 func (d *generation) startSource(p *pool) {
 	switch {
 	case p.config.File != "":
-		p.file = endpointsource.WatchFile(p.config.File, endpointsource.DefaultFileInterval, func(ctx context.Context, t engine.EndpointUpdate) { p.endpoints.UpdateEndpoints(ctx, t) }, d.log)
+		p.file = endpointsource.WatchFile(p.config.File, endpointsource.DefaultFileInterval, p.update, d.log)
 	case p.source != nil && !d.options.Config.Site.Settings.Subscribe:
 		p.source.SetWatching(true)
 	}
 }
 
-// end ends the source of a pool's list.
+// stopSource stops the source of a pool's list.
 func (p *pool) stopSource() {
 	if p.source != nil {
 		p.source.Close()
@@ -83,7 +96,7 @@
 	}
 }
 
-// confPools returns the pools that a configuration has.
+// configuredPools returns the pools that a configuration has.
 func configuredPools(c *config.Config) []config.Pool {
 	if len(c.Routes) == 0 {
 		return []config.Pool{{Discovery: c.Discovery.Address}}
@@ -91,10 +104,11 @@
 	return c.Pools
 }
 
-// change goes by another file's pools and routes from now on. What is open goes on where it is. On an error nothing has
-// changed.
+// changePools goes by another file's pools and routes from now on. What is open goes on where it is. On an error
+// nothing has changed.
 func (d *generation) changePools(next *config.Config) (added, removed []string, err error) {
-	after, fresh := pools{}, pools{}
+	after := pools{}
+	fresh := pools{}
 	for _, conf := range configuredPools(next) {
 		if p := d.pools[conf.Name]; p != nil && p.canBecome(&conf) {
 			after[conf.Name] = p
@@ -107,7 +121,8 @@
 			}
 			return nil, nil, err
 		}
-		after[conf.Name], fresh[conf.Name] = p, p
+		after[conf.Name] = p
+		fresh[conf.Name] = p
 		added = append(added, conf.Name)
 	}
 	for _, conf := range configuredPools(next) {
@@ -117,7 +132,8 @@
 		case reflect.DeepEqual(p.config, conf):
 		case conf.Endpoints != nil:
 			p.listGeneration++
-			p.endpoints.UpdateEndpoints(context.Background(), endpointsource.StaticList(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration))
+			list := endpointsource.StaticList(*conf.Endpoints, d.config.Fleet.Zone, p.listGeneration)
+			p.endpoints.UpdateEndpoints(context.Background(), list)
 		default:
 			p.source.SwitchTo(d.watcher(p, conf.Discovery))
 			p.endpoints.SetSource(conf.Source())
@@ -138,10 +154,14 @@
 	return added, removed, nil
 }
 
-// becomes says whether a pool can go on as one of another configuration: with another list, or another discovery.
+// canBecome says whether a pool can go on as one of another configuration: with another list, or another discovery.
 func (p *pool) canBecome(conf *config.Pool) bool {
-	return p.config.RetryBudget == conf.RetryBudget && (reflect.DeepEqual(p.config, *conf) || p.config.Endpoints != nil && conf.Endpoints != nil ||
-		p.config.Discovery != "" && conf.Discovery != "")
+	if p.config.RetryBudget != conf.RetryBudget {
+		return false
+	}
+	return reflect.DeepEqual(p.config, *conf) ||
+		p.config.Endpoints != nil && conf.Endpoints != nil ||
+		p.config.Discovery != "" && conf.Discovery != ""
 }
 
 // names returns the pools' names, sorted.
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// Drain ends what is open in order: clients that still connect are served for a moment, each answer closes its connection,
-// and endpoints that are warming up get nothing more.
+// Drain ends what is open in order: clients that still connect are served for a moment, each answer closes its
+// connection, and endpoints that are warming up get nothing more.
 func (l *lifecycle) Drain() {
 	l.log.Info("draining")
 	l.front.Release(nil)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -9,15 +9,13 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/rollout"
-	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/takeover"
 )
 
-// process is what a daemon's process is over all its configurations. Package decide/versions decides which of those that
-// come is applied: a change that can be made while serving is made in the generation that serves, and for any other one
-// a new generation takes over from it, within the process, as another process would. Its fields belong to the goroutine
-// in run; others use events.
+// process is what a daemon's process is over all its configurations. Package decide/versions decides which of
+// those that come is applied: a change that can be made while serving is made in the generation that serves,
+// and for any other one a new generation takes over from it, within the process, as another process would. Its
+// fields belong to the goroutine in run; others use events.
 type process struct {
 	options Options
 	log     *slog.Logger
@@ -26,29 +24,34 @@
 	closed  chan struct{} // closed once no event is taken any more
 	timer   *time.Timer
 
-	serving     *lifecycle // that serves, or is the first to
-	successor   *lifecycle // that is to take over from it; nil while none is
-	running     int        // that have not ended
-	result      error
-	appliedStep func(now monotime.Micros, reason string) []rollout.Command // what the machine is to be told once what is applied is so
+	serving   *lifecycle // that serves, or is the first to
+	successor *lifecycle // that is to take over from it; nil while none is
+	running   int        // that have not ended
+	result    error
 
 	versioning
 }
 
-// eventsMost is how many events wait at most before who brings one waits, too. The lives bring few, and never wait for
-// the process as it never waits for them.
+// eventsBuffer is how many events wait before those that post them wait, too. Lifecycles post few, and never
+// wait for the process as it never waits for them.
 const eventsBuffer = 64
 
 func newProcess(stop context.Context, o Options) *process {
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	p := &process{options: o, log: o.Log, stop: stop, events: make(chan func(), eventsBuffer), closed: make(chan struct{})}
+	p := &process{
+		options: o,
+		log:     o.Log,
+		stop:    stop,
+		events:  make(chan func(), eventsBuffer),
+		closed:  make(chan struct{}),
+	}
 	p.restoreVersions()
 	return p
 }
 
-// begin puts the first generation together.
+// assembleFirst assembles the first generation.
 func (p *process) assembleFirst() error {
 	if err := p.prepareProcess(p.first); err != nil {
 		return err
@@ -64,7 +67,7 @@
 // run serves by the first configuration, and then by those that follow, until the last generation has ended.
 func (p *process) run() error {
 	defer p.following.Wait()
-	defer close(p.closed) // whoever tells of a version does not wait any more
+	defer close(p.closed) // those that post do not wait any more
 	p.timer = time.AfterFunc(time.Hour, func() { p.post(func() { p.carryOut(p.machine.HandleDeadline(now())) }) })
 	defer p.timer.Stop()
 	slots := time.NewTicker(sampleInterval)
@@ -85,7 +88,7 @@
 	return p.result
 }
 
-// post hands an event to run, and says whether it may be taken: after its end there is nobody to tell.
+// post hands an event to run, and reports whether it may be handled: after the end of run none is.
 func (p *process) post(event func()) bool {
 	select {
 	case p.events <- event:
@@ -95,7 +98,7 @@
 	}
 }
 
-// arm sets the timer to the machine's next deadline.
+// armTimer sets the timer to the machine's next deadline.
 func (p *process) armTimer() {
 	if at := p.machine.Deadline(); at != 0 {
 		p.timer.Reset(max(0, clock.Duration(at-now())))
@@ -108,12 +111,13 @@
 	return assemble(Options{Config: c, Log: p.log, Seed: p.options.Seed})
 }
 
-// life returns the life of a generation, which tells the process how it goes.
-func (p *process) newLifecycle(g *generation, giver *takeover.Conn) *lifecycle {
-	l := newLifecycle(p.stop, g, giver)
+// newLifecycle returns the lifecycle of a generation, which notifies the process.
+func (p *process) newLifecycle(g *generation, predecessor *takeover.Conn) *lifecycle {
+	l := newLifecycle(p.stop, g, predecessor)
 	l.onServing = func() {
-		addresses, given := l.addresses(), l.Successor.ReceivesConnections()
-		p.post(func() { p.onServing(l, addresses, given) })
+		addresses := l.addresses()
+		tookOver := l.Successor.ReceivesConnections()
+		p.post(func() { p.onServing(l, addresses, tookOver) })
 	}
 	l.onHandingOver = func(yes bool) {
 		p.post(func() {
@@ -133,24 +137,25 @@
 	}()
 }
 
-// accepted notes that a generation serves, and whether another one gave to it.
-func (p *process) onServing(l *lifecycle, addresses map[string]string, given bool) {
+// onServing notes that a generation serves, and whether it took over from another process.
+func (p *process) onServing(l *lifecycle, addresses map[string]string, tookOver bool) {
 	if p.options.Serving != nil {
 		p.options.Serving(addresses)
 	}
 	if l != p.successor {
-		if given {
+		if tookOver {
 			p.machine.ForgiveLastAttempt()
 		}
 		p.followService(p.serving.options.Config)
 		return
 	}
-	p.serving, p.successor = l, nil
+	p.serving = l
+	p.successor = nil
 	p.onApplied(nil)
 	p.carryOut(p.machine.SetPaused(now(), false)) // the one before it was busy with it
 }
 
-// ended notes the end of a generation.
+// onEnded notes the end of a generation.
 func (p *process) onEnded(l *lifecycle, err error) {
 	p.running--
 	switch l {
@@ -165,23 +170,23 @@
 	}
 }
 
-// succeed has a generation of another configuration take over from the one that serves.
+// startSuccessor has a generation of another configuration take over from the one that serves.
 func (p *process) startSuccessor(c *config.Config) error {
 	g, err := p.assemble(c)
 	if err != nil {
 		return err
 	}
-	giver, taker, err := takeover.Pair()
+	toSuccessor, toPredecessor, err := takeover.Pair()
 	if err != nil {
 		g.end()
 		return err
 	}
-	p.successor = p.newLifecycle(g, taker)
+	p.successor = p.newLifecycle(g, toPredecessor)
 	p.start(p.successor)
 	from := p.serving
 	go func() {
-		if !from.Loop.Post(func() { from.ReadHello(from.ctx, giver, answerTimeout) }) {
-			giver.Close()
+		if !from.Loop.Post(func() { from.ReadHello(from.ctx, toSuccessor, answerTimeout) }) {
+			toSuccessor.Close()
 		}
 	}()
 	return nil
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -16,12 +16,14 @@
 	"dunlinsail/internal/xdsclient"
 )
 
-// versioning is the part of a process that has to do with which configuration it runs: where versions come from, the machine
-// that decides between them, what is kept of them, and how the one on trial does. It belongs to the process's goroutine.
+// versioning is the part of a process that has to do with which configuration it runs: where versions come
+// from, the machine that decides between them, what is kept of them, and how the one on trial does. It belongs
+// to the process's goroutine.
 type versioning struct {
-	machine     *rollout.StateMachine
-	first       *config.Config                                             // to begin with
-	appliedStep func(now monotime.Micros, reason string) []rollout.Command // what the machine is told once what is applied is so
+	machine *rollout.StateMachine
+	first   *config.Config // to begin with
+	// appliedStep is what the machine is told once what is applied has come into effect.
+	appliedStep func(now monotime.Micros, reason string) []rollout.Command
 
 	fileReads uint64                       // of the file
 	files     map[string]*config.Config    // contents of the file, by digest: those that the machine may name
@@ -41,15 +43,16 @@
 }
 
 const (
-	fileCheckGap       = 100 * time.Millisecond // from one check of the file to the next, where there is no control service
+	fileCheckGap       = 100 * time.Millisecond // between two checks of the file without a control service
 	sampleInterval     = 250 * time.Millisecond // of a sample
 	maxBaselineSamples = 240                    // that a trial is held against
 )
 
-// trialRush is how often a trial begins anew in which so much more is asked for than before that it proves nothing.
+// maxCanaryRestarts is how often a canary analysis restarts because the load has grown so much that it proves
+// nothing.
 const maxCanaryRestarts = 3
 
-// settings returns the machine's.
+// machineSettings returns the settings of the rollout's machine.
 func machineSettings(c *config.Control, seed uint64) rollout.Settings {
 	s := rollout.Settings{CanaryEnabled: c.Tries(), MinValidationInterval: clock.Micros(fileCheckGap), Seed: seed}
 	if c.Address != "" {
@@ -58,7 +61,7 @@
 	return s
 }
 
-// do carries out what the machine wants.
+// carryOut carries out the commands of the rollout's machine.
 func (p *process) carryOut(steps []rollout.Command) {
 	for _, s := range steps {
 		switch s.Action {
@@ -135,7 +138,7 @@
 	}()
 }
 
-// finish tells the machine how what was to be applied has ended.
+// onApplied notifies the machine how applying a version has ended.
 func (p *process) onApplied(err error) {
 	if err != nil && p.stop.Err() != nil {
 		return // what failed may be the process's own end: it is held against nothing (leave)
@@ -156,7 +159,7 @@
 
 func first[A, B any](a A, _ B) A { return a }
 
-// prepare sets what holds for the whole process.
+// prepareProcess sets what holds for the whole process.
 func (p *process) prepareProcess(c *config.Config) error {
 	if p.options.Prepare == nil {
 		return nil
@@ -164,7 +167,7 @@
 	return p.options.Prepare(&c.Process)
 }
 
-// answer tells the source of a version what became of it.
+// answerSource acknowledges or rejects a version at its source.
 func (p *process) answerSource(s *rollout.Command) {
 	id := s.Version.ID.String()
 	switch {
--- a/internal/daemon/rollout_source.go
+++ b/internal/daemon/rollout_source.go
@@ -9,7 +9,7 @@
 	"dunlinsail/internal/xdsclient"
 )
 
-// read reads the file again, and offers what is in it.
+// readFile reads the file again, and offers its version.
 func (p *process) readFile() {
 	c, err := p.options.Read()
 	if err != nil {
@@ -27,25 +27,33 @@
 	return v
 }
 
-// follow asks the control service that a configuration names, if it is another than before.
+// followService follows the control service that a configuration names, if it is another than before.
 func (p *process) followService(c *config.Config) {
 	if reflect.DeepEqual(p.control, c.Control) {
 		return
 	}
 	p.stopFollowing()
-	p.stopFollowing, p.client, p.control = func() {}, nil, c.Control
+	p.stopFollowing = func() {}
+	p.client = nil
+	p.control = c.Control
 	if c.Control.Address == "" {
 		return
 	}
 	var client *xdsclient.Client
-	client, err := xdsclient.New(xdsclient.Options{Settings: c.Control, InstanceName: c.Name, Zone: c.Fleet.Zone, Applied: p.runningServiceVersion(), Log: p.log,
+	client, err := xdsclient.New(xdsclient.Options{
+		Settings:     c.Control,
+		InstanceName: c.Name,
+		Zone:         c.Fleet.Zone,
+		Applied:      p.runningServiceVersion(),
+		Log:          p.log,
 		OnUpdate: func(u xdsclient.Update) {
 			p.post(func() {
 				if p.client == client {
 					p.onUpdate(u)
 				}
 			})
-		}})
+		},
+	})
 	if err != nil {
 		p.log.Error("no versions of the configuration will come", "error", err)
 		return
@@ -57,7 +65,7 @@
 	p.log.Info("versions of the configuration come from a control service", "service", c.Control.Address)
 }
 
-// service returns which of the service's versions runs, or will in a moment; nil for none.
+// runningServiceVersion returns which of the service's versions runs, or will in a moment; nil for none.
 func (p *process) runningServiceVersion() *rollout.ID {
 	pair, _ := p.machine.Running()
 	if phase, _ := p.machine.Phase(); phase == rollout.PhaseRollingBack {
@@ -69,7 +77,7 @@
 	return &pair.ControlPlane.ID
 }
 
-// offered takes a version in that the service sent.
+// onUpdate offers a version that the service sent.
 func (p *process) onUpdate(u xdsclient.Update) {
 	if u.DecodeError != "" {
 		p.carryOut(p.machine.RejectUnreadable(u.Version, u.DecodeError))
--- a/internal/daemon/rollout_state.go
+++ b/internal/daemon/rollout_state.go
@@ -10,10 +10,12 @@
 	"dunlinsail/internal/decide/rollout"
 )
 
-// recall finds what to begin with: the file, and over it the last good version of the service's. Without a sound one it is
-// the file alone, which is sound by itself.
+// restoreVersions finds the configuration to start with: the file, and over it the last known good version of
+// the service. Without a sound one it is the file alone, which is sound by itself.
 func (p *process) restoreVersions() {
-	p.files, p.resources, p.stopFollowing = map[string]*config.Config{}, map[string][]config.Resource{}, func() {}
+	p.files = map[string]*config.Config{}
+	p.resources = map[string][]config.Resource{}
+	p.stopFollowing = func() {}
 	file := p.options.Config
 	p.first = file
 	running := rollout.LayeredVersion{File: p.fileVersion(file)}
@@ -30,23 +32,28 @@
 		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
 			p.log.Error("the last good version cannot be begun with, the file alone is", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
 		} else {
-			p.first, running.ControlPlane = c, known.LastKnownGood.ControlPlane
+			p.first = c
+			running.ControlPlane = known.LastKnownGood.ControlPlane
 			p.log.Info("beginning with the last good version", "version", running.String())
 		}
 	}
 	if known.LastKnownGood != nil && !sameContents(known.LastKnownGood, &running) {
 		// Whoever starts the process with another file means it.
-		known.PreviousGood, known.LastKnownGood = known.LastKnownGood, &running
+		known.PreviousGood = known.LastKnownGood
+		known.LastKnownGood = &running
 	}
 	p.machine = rollout.New(machineSettings(&file.Control, p.options.Seed), running, known)
 }
 
-// same says whether two pairs have the same contents.
+// sameContents reports whether two layered versions have the same contents.
 func sameContents(a, b *rollout.LayeredVersion) bool {
-	return a.File.Digest == b.File.Digest && (a.ControlPlane == nil) == (b.ControlPlane == nil) && (a.ControlPlane == nil || *a.ControlPlane == *b.ControlPlane)
+	if a.File.Digest != b.File.Digest || (a.ControlPlane == nil) != (b.ControlPlane == nil) {
+		return false
+	}
+	return a.ControlPlane == nil || *a.ControlPlane == *b.ControlPlane
 }
 
-// load returns what was known when the process before this one ended, nil if nothing is kept.
+// loadState returns the state that the process before this one saved, nil if there is none.
 func (p *process) loadState() *rollout.PersistentState {
 	k, from, err := p.cache.Load()
 	if err != nil {
@@ -68,7 +75,7 @@
 	return k
 }
 
-// recalled returns the configuration that a version comes to over a file, from what is kept.
+// cachedConfig returns the configuration of a cached version over a file.
 func (p *process) cachedConfig(v *rollout.Version, file *config.Config) (*config.Config, error) {
 	text, err := p.cache.Content(v.Digest)
 	if err != nil {
@@ -90,7 +97,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// save writes down what is known.
+// saveState writes the machine's persistent state.
 func (p *process) saveState() {
 	if p.cache == nil {
 		p.carryOut(p.machine.HandlePersisted(now(), ""))
@@ -115,7 +122,7 @@
 	})
 }
 
-// toKeep returns a copy of what is known, and the contents that it names.
+// stateToSave returns a copy of the persistent state, and the contents that it names.
 func (p *process) stateToSave() (*rollout.PersistentState, map[string][]byte, error) {
 	text, err := json.Marshal(p.machine.PersistentState())
 	if err != nil {
@@ -137,7 +144,7 @@
 	return k, contents, nil
 }
 
-// forget lets contents go that nothing names any more.
+// dropUnused drops contents that nothing names any more.
 func (p *process) dropUnused() {
 	keep := map[string]bool{}
 	note := func(v *rollout.Version) {
@@ -146,7 +153,8 @@
 		}
 	}
 	running, _ := p.machine.Running()
-	for _, pair := range []*rollout.LayeredVersion{&running, p.machine.PersistentState().LastKnownGood, p.machine.PersistentState().PreviousGood} {
+	state := p.machine.PersistentState()
+	for _, pair := range []*rollout.LayeredVersion{&running, state.LastKnownGood, state.PreviousGood} {
 		if pair != nil {
 			note(&pair.File)
 			note(pair.ControlPlane)
@@ -168,7 +176,8 @@
 	}
 }
 
-// leave is the end of the process. One that was told to end did not end by what it tried.
+// stopVersioning ends the versioning with the process. A process that was told to stop did not end because of
+// the version on trial: the attempt is forgiven.
 func (p *process) stopVersioning() {
 	p.stopFollowing()
 	p.saving.Wait()
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -12,7 +12,7 @@
 	"dunlinsail/internal/upstream"
 )
 
-// route has the front go by a configuration's routes.
+// setRoutes sets the frontend's routes from a configuration.
 func (d *generation) setRoutes(c *config.Config) {
 	if len(c.Routes) == 0 {
 		d.front.SetRoutes(nil)
@@ -65,18 +65,41 @@
 		}
 		return http1.Source{}
 	}
-	r := http1.Route{Name: conf.Name, Pool: d.pools[conf.Pool].endpoints, Safe: classOf(config.ReadClass), Other: classOf(config.WriteClass),
-		Tenant: source(conf.Tenant), Object: source(conf.Object), Key: source(conf.Key), ID: source(conf.ID), Deadline: source(conf.Deadline),
-		Tries: conf.Tries, BodyMost: conf.BodyMost.Bytes, BodyHold: conf.BodyHold.Bytes, Whole: conf.Whole.Duration,
-		Host: conf.ToHost, StripPrefix: conf.StripPrefix, AddPrefix: conf.AddPrefix, Trusted: conf.Trusted,
-		Forwarded: http1.Forwarded(slices.Index(config.Forwarding, conf.Forwarded)), Request: edits(&conf.Request), Answer: edits(&conf.Answer)}
+	r := http1.Route{
+		Name:        conf.Name,
+		Pool:        d.pools[conf.Pool].endpoints,
+		Safe:        classOf(config.ReadClass),
+		Other:       classOf(config.WriteClass),
+		Tenant:      source(conf.Tenant),
+		Object:      source(conf.Object),
+		Key:         source(conf.Key),
+		ID:          source(conf.ID),
+		Deadline:    source(conf.Deadline),
+		Tries:       conf.Tries,
+		BodyMost:    conf.BodyMost.Bytes,
+		BodyHold:    conf.BodyHold.Bytes,
+		Whole:       conf.Whole.Duration,
+		Host:        conf.ToHost,
+		StripPrefix: conf.StripPrefix,
+		AddPrefix:   conf.AddPrefix,
+		Trusted:     conf.Trusted,
+		Forwarded:   http1.Forwarded(slices.Index(config.Forwarding, conf.Forwarded)),
+		Request:     edits(&conf.Request),
+		Answer:      edits(&conf.Answer),
+	}
 	for name := range conf.Headers {
 		decisive[http.CanonicalHeaderKey(name)] = true
 	}
 	rules := func(class uint8) *upstream.Rules {
 		settings := &c.Site.Settings.Classes[class]
-		x := &upstream.Rules{Unsafe: settings.Idempotency == balancer.NonIdempotent, Hold: conf.AnswerHold.Bytes, Most: conf.AnswerMost.Bytes,
-			Idle: conf.Idle.Duration, Whole: conf.Whole.Duration, Wait: c.Classes[class].GiveUp.Duration}
+		x := &upstream.Rules{
+			Unsafe: settings.Idempotency == balancer.NonIdempotent,
+			Hold:   conf.AnswerHold.Bytes,
+			Most:   conf.AnswerMost.Bytes,
+			Idle:   conf.Idle.Duration,
+			Whole:  conf.Whole.Duration,
+			Wait:   c.Classes[class].GiveUp.Duration,
+		}
 		if r.Deadline.Kind == http1.FromHeader {
 			x.Deadline = r.Deadline.Name
 		}
@@ -88,7 +111,8 @@
 		}
 		return x
 	}
-	r.Rules, r.OtherRules = rules(r.Safe), rules(r.Other)
+	r.Rules = rules(r.Safe)
+	r.OtherRules = rules(r.Other)
 	return r
 }
 
--- a/internal/daemon/spentlog.go
+++ b/internal/daemon/spentlog.go
@@ -10,15 +10,15 @@
 	"dunlinsail/internal/monotime"
 )
 
-// spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in microseconds, which all its
-// processes read alike, and the budget.
+// spentLog writes a line for each unit that is spent of a budget: the host's time since it came up in
+// microseconds, which all its processes read alike, and the budget.
 type spentLog struct {
 	lines   chan string
 	done    chan struct{}
 	dropped bool
 }
 
-// spentWaiting is how many lines wait for a disk that is slow; beyond that some are missing, and one line says so.
+// spentLogBuffer is how many lines wait for a slow disk; beyond that lines are dropped, and one line says so.
 const spentLogBuffer = 1 << 14
 
 func openSpentLog(path string, log *slog.Logger) (*spentLog, error) {
@@ -36,7 +36,8 @@
 			if len(s.lines) > 0 || w.Flush() == nil { // what a process that is killed has spent is to be known
 				continue
 			}
-			// The disk may be full: what is spent is bounded all the same. A writer that has failed writes nothing more.
+			// The disk may be full: what is spent is bounded all the same. A writer that has failed writes
+			// nothing more.
 			log.Error("peers.spent is not kept any more", "file", path)
 			for range s.lines {
 			}
@@ -47,7 +48,7 @@
 	return s, nil
 }
 
-// note notes a unit. It never waits.
+// record writes a unit. It never waits.
 func (s *spentLog) record(_ monotime.Micros, budget string) {
 	if s.dropped && len(s.lines) < spentLogBuffer/2 {
 		s.dropped = false
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -58,8 +58,8 @@
 	return nil
 }
 
-// resumeWatches has the endpoint watches go on where the predecessor's stand: a complete list might be older than what it
-// has sent.
+// resumeWatches has the endpoint watches go on where the predecessor's stand: a complete list might be older
+// than what it has sent.
 func (l *lifecycle) resumeWatches(snapshot *engine.Snapshot) {
 	for name, p := range l.pools {
 		from := snapshot.Pool(name)
@@ -156,7 +156,8 @@
 	}
 }
 
-// listenForSuccessors accepts successors at the configuration's path, on the predecessor's socket where it is the same.
+// listenForSuccessors accepts successors at the configuration's path, on the predecessor's socket where it is
+// the same.
 func (l *lifecycle) listenForSuccessors() {
 	path := l.options.Config.Takeover.Socket
 	if l.successorListener != nil && l.successorListener.Path() != path {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,7 +22,7 @@
 	"dunlinsail/internal/wire"
 )
 
-// Config is what a sidecar is told at its start.
+// Config is a sidecar's configuration.
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
@@ -38,7 +38,7 @@
 	Site      siteconfig.Site
 
 	FileDiscovery string    // as the file alone names it
-	Events        io.Writer // where what is done at endpoints and at discovery is told (package eventlog); nil is nowhere
+	Events        io.Writer // of calls to endpoints and discovery (package eventlog); nil is nowhere
 }
 
 // ConfigError names the part of the configuration that makes no sense.
@@ -101,8 +101,15 @@
 		}
 		return nil, &ConfigError{key, err}
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, FileDiscovery: file.Discovery, Operator: file.Operator,
-		MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	c := &Config{
+		Name:          file.Name,
+		Listen:        file.Listen,
+		Discovery:     file.Discovery,
+		FileDiscovery: file.Discovery,
+		Operator:      file.Operator,
+		MemoryMB:      defaultMemoryMB,
+		Sockets:       defaultSockets,
+	}
 	for name, to := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.Operator} {
 		if v := getenv(name); v != "" {
@@ -114,7 +121,8 @@
 		if err != nil || fd < 3 {
 			return nil, &ConfigError{"ROUTER_INHERITED_FD", fmt.Errorf("%q is no descriptor from 3 on", v)}
 		}
-		c.Inherited, c.Meeting = fd, getenv("TMPDIR")
+		c.Inherited = fd
+		c.Meeting = getenv("TMPDIR")
 	}
 	switch v := getenv("ROUTER_EVENTS"); v {
 	case "", "0":
@@ -149,8 +157,8 @@
 			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, LeastSockets)}
 		}
 	}
-	// Without a list that was held, the first one that comes names what has long been there: an empty one would make all of
-	// it look just started, and cold.
+	// Without a list that was held, the first one that comes names what has long been there: an empty one would
+	// make all endpoints look just started, and warming up.
 	c.Known = discovery.List{Generation: discovery.NoGeneration}
 	if file.Known != nil {
 		c.Known = *file.Known
@@ -199,7 +207,8 @@
 	if err != nil {
 		return &ConfigError{"settings", err} // its message names the key
 	}
-	to.Zones, to.Kinds = names.Areas, names.Skus
+	to.Zones = names.Areas
+	to.Kinds = names.Skus
 	for i, class := range names.Classes {
 		if class.Name == "" {
 			return &ConfigError{fmt.Sprintf("settings.classes.%d.name", i), errors.New("is missing")}
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -15,8 +15,9 @@
 	"dunlinsail/internal/takeover"
 )
 
-// cordonsFile holds the cordons in the folder that two versions of a sidecar share, for the case that the old one cannot
-// send them any more when the new one starts. The platform empties the folder before any other start.
+// cordonsFile holds the cordons in the folder that two versions of a sidecar share, for the case that the old
+// one cannot send them any more when the new one starts. The platform empties the folder before any other
+// start.
 const (
 	cordonsFile    = "dunlinsail.words"
 	maxCordonsFile = 1 << 20
@@ -98,8 +99,8 @@
 	l.sidecar.core.ReceiveCordons(cordons...)
 }
 
-// cordonPeers are the connections to other processes of this sidecar, to which cordons are sent. Its methods may be called
-// from any goroutine.
+// cordonPeers are the connections to other processes of this sidecar, to which cordons are sent. Its methods
+// may be called from any goroutine.
 type cordonPeers struct {
 	mu    sync.Mutex
 	conns []*takeover.Conn // replaced, never changed in place
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	// The platform sends SIGTERM to the old process 6 s after the new one was started at the latest. A hot restart takes
-	// three answers and a start, so that one which fails in the last step still leaves time to start with less.
+	// The platform sends SIGTERM to the old process 6 s after the new one was started at the latest. A hot
+	// restart takes three answers and a start, so that one which fails in the last step still leaves time to
+	// start with less.
 	answerTimeout = time.Second
 	readyTimeout  = 2 * time.Second
-	// drainTimeout bounds what is open when another process serves, or none is to: longer than any request's time, and
-	// than most answers that stream. The platform kills the process before that.
+	// drainTimeout bounds what is open when another process serves, or none is to: longer than any request's
+	// time, and than most answers that stream. The platform kills the process before that.
 	drainTimeout = 30 * time.Second
 	// deadlineMargin is how long after the longest deadline, maxDeadline at most, all must be answered: the platform
 	// kills the process 0.7 s after it.
@@ -31,13 +32,14 @@
 	stopAcceptDelay = 550 * time.Millisecond
 )
 
-// socketName is the socket, in the folder that two versions of a sidecar share, at which the process that serves listens
-// for its successor.
+// socketName is the socket, in the folder that two versions of a sidecar share, at which the process that
+// serves listens for its successor.
 const socketName = "dunlinsail.takeover"
 
-// lifecycle is the lifecycle of a sidecar's process from its start to its end: successor of the process that serves, if
-// there is one, then serving, then predecessor of the next. The platform holds the clients' listening socket, and both
-// processes have it: what is handed over is who accepts on it, what was learned and the clients' connections.
+// lifecycle is the lifecycle of a sidecar's process from its start to its end: successor of the process that
+// serves, if there is one, then serving, then predecessor of the next. The platform holds the clients'
+// listening socket, and both processes have it: what is handed over is who accepts on it, what was learned and
+// the clients' connections.
 //
 // Its fields belong to the goroutine of run; others post events to the loop.
 type lifecycle struct {
@@ -143,8 +145,8 @@
 	}
 }
 
-// answerInTime has all answered in time after an order to stop that comes now. Requests that are only partly received by
-// then cannot be answered.
+// answerInTime has all answered in time after an order to stop that comes now. Requests that are only partly
+// received by then cannot be answered.
 func (l *lifecycle) answerInTime() {
 	log := l.sidecar.log
 	left := min(maxDeadline, longestDeadline(l.sidecar.config)) + deadlineMargin
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -8,8 +8,9 @@
 	"dunlinsail/internal/takeover"
 )
 
-// successorStartGrace is how long a predecessor outlives the message that the successor is to serve, with nothing left to
-// do: should the successor end in that step, the predecessor serves on. The platform leaves it 0.7 s.
+// successorStartGrace is how long a predecessor outlives the message that the successor is to serve, with
+// nothing left to do: should the successor end in that step, the predecessor serves on. The platform leaves it
+// 0.7 s.
 const successorStartGrace = 500 * time.Millisecond
 
 // The methods of this file carry out what the predecessor's state machine says (takeover.PredecessorHost).
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -8,9 +8,9 @@
 	"dunlinsail/internal/platform"
 )
 
-// reloads reads the configuration again at each signal, until ctx ends, and moves to the discovery that its
-// file names anew. ROUTER_DISCOVERY goes before the file at the start only, or no new file could ever name
-// another. All else in the file takes effect at the next start. A file that makes no sense changes nothing.
+// reloadOnSignal reads the configuration again at each signal, until ctx ends, and moves to the discovery that
+// its file names anew. ROUTER_DISCOVERY goes before the file at the start only, or no new file could ever name
+// another. All else in the file takes effect at the next start. A file that cannot be read changes nothing.
 func (s *sidecar) reloadOnSignal(ctx context.Context, signals <-chan os.Signal, read func() (*platform.Config, error)) {
 	c := s.config
 	for {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,7 +29,7 @@
 	"dunlinsail/internal/upstream"
 )
 
-// ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listener, the
+// reservedSockets are for what is neither a client's nor an endpoint's: standard streams, the listener, the
 // runtime, calls of discovery, the file of the configuration.
 const reservedSockets = 16
 
@@ -43,14 +43,15 @@
 	minIdle          = 100 * time.Millisecond
 )
 
-// Where lists are pushed, discovery is an agent on this machine: it answers at once and at no cost. What it is told when it is
-// back after a silence counts as told to us at that moment, so that a call must be waiting, or follow within the grace of a drain.
+// Where lists are pushed, discovery is an agent on this machine: it answers at once and at no cost. What it is
+// told when it is back after a silence counts as told to us at that moment, so that a call must be waiting, or
+// follow within the grace of a drain.
 const (
 	agentAnswerTimeout = 500 * time.Millisecond
 	agentPollWait      = 50 * time.Millisecond
 )
 
-// sockets is how many descriptors clients and endpoints share.
+// availableSockets is how many descriptors clients and endpoints share.
 func availableSockets(c *platform.Config) int {
 	if c.Operator != "" {
 		return c.Sockets - admin.Sockets
@@ -61,8 +62,12 @@
 // clientLimits is how many connections of clients may be open: half of the descriptors. The other half is for
 // connections to endpoints: an open request has one of each, and probes and second attempts want more.
 func clientLimits(sockets int) connlimit.Limits {
-	return connlimit.Limits{MaxConnections: (sockets - reservedSockets) / 2, MaxIdle: (sockets - reservedSockets) / idleConnsDivisor,
-		MaxIdleTime: clock.Micros(maxIdle), MinIdleTime: clock.Micros(minIdle)}
+	return connlimit.Limits{
+		MaxConnections: (sockets - reservedSockets) / 2,
+		MaxIdle:        (sockets - reservedSockets) / idleConnsDivisor,
+		MaxIdleTime:    clock.Micros(maxIdle),
+		MinIdleTime:    clock.Micros(minIdle),
+	}
 }
 
 // upstreamConns is how many connections to endpoints may be open.
@@ -143,9 +148,17 @@
 			return s.events.Dialed(addr, conn, err)
 		}
 	}
-	s.pool = upstream.New(upstream.Options{Clock: clk, Log: log, Most: upstreamConns(availableSockets(c)),
-		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout), KeepAlive: c.Site.KeepAlive, Settle: upstream.SettleTime,
-		Fields: c.Site.LoadReportFields, OnAnswers: c.Site.ReportsOnResponses, Dial: dial})
+	s.pool = upstream.New(upstream.Options{
+		Clock:       clk,
+		Log:         log,
+		Most:        upstreamConns(availableSockets(c)),
+		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout),
+		KeepAlive:   c.Site.KeepAlive,
+		Settle:      upstream.SettleTime,
+		Fields:      c.Site.LoadReportFields,
+		OnAnswers:   c.Site.ReportsOnResponses,
+		Dial:        dial,
+	})
 	w := s.watchDiscovery(c.Discovery, c.Known.Generation)
 	s.firstWatcher = w
 	if c.Site.Settings.Subscribe {
@@ -156,8 +169,19 @@
 		s.source = discovery.NewContinuousSource(w)
 	}
 	var err error
-	s.core = core.New(core.Config{Clock: clk, Site: &c.Site, Seed: c.Seed, Upstream: s.pool, Log: log, Observer: observe})
-	pool := engine.PoolConfig{Source: c.Discovery, InitialEndpoints: c.Known.EndpointUpdate(), SetWatch: s.source.SetWatching}
+	s.core = core.New(core.Config{
+		Clock:    clk,
+		Site:     &c.Site,
+		Seed:     c.Seed,
+		Upstream: s.pool,
+		Log:      log,
+		Observer: observe,
+	})
+	pool := engine.PoolConfig{
+		Source:           c.Discovery,
+		InitialEndpoints: c.Known.EndpointUpdate(),
+		SetWatch:         s.source.SetWatching,
+	}
 	if c.Overload {
 		o := overload.DefaultSettings()
 		o.Instances = c.Site.Settings.Balancers
@@ -167,8 +191,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s.front, err = http1.New(http1.Options{Clock: clk, Site: &c.Site, Core: s.core, Pool: s.endpoints, SendWhole: s.pool.SendWhole,
-		Limits: clientLimits(availableSockets(c)), Log: log})
+	s.front, err = http1.New(http1.Options{
+		Clock:     clk,
+		Site:      &c.Site,
+		Core:      s.core,
+		Pool:      s.endpoints,
+		SendWhole: s.pool.SendWhole,
+		Limits:    clientLimits(availableSockets(c)),
+		Log:       log,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -179,14 +210,15 @@
 // identify says whose a connection is: the application's, the only client there is.
 func (s *sidecar) identify(net.Conn) (*http1.Client, func(), error) { return s.client, nil, nil }
 
-// watcher returns a watcher of a discovery that tells the core.
+// watchDiscovery returns a discovery watcher that updates the core.
 func (s *sidecar) watchDiscovery(addr string, after int64) *discovery.Watcher {
 	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.updateEndpoints, s.log)
 	if s.events != nil {
 		w.OnRequest = s.events.Asked
 	}
 	if !s.config.Site.Settings.Subscribe {
-		w.ResponseTimeout, w.MaxBackoff = agentAnswerTimeout, agentPollWait
+		w.ResponseTimeout = agentAnswerTimeout
+		w.MaxBackoff = agentPollWait
 	}
 	return w
 }
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -36,8 +36,8 @@
 // RestoreHandover restores the snapshot that came with the handover.
 func (l *lifecycle) RestoreHandover(snapshot []byte) { l.restore(snapshot, "at the handover") }
 
-// restore restores what the predecessor learned. A snapshot that cannot be read is logged: then this process starts with
-// less.
+// restore restores what the predecessor learned. A snapshot that cannot be read is logged: then this process
+// starts with less.
 func (l *lifecycle) restore(snapshot []byte, when string) {
 	log := l.sidecar.log
 	state, err := takeover.DecodeState(snapshot)
--- a/internal/takeover/lifecycle.go
+++ b/internal/takeover/lifecycle.go
@@ -28,7 +28,7 @@
 
 	snapshot     []byte // that came from the predecessor, or is to go to the successor, with the handover
 	drainedEarly bool   // no connection is served, but the predecessor may still hand some over
-	handingOver  bool   // what the host was told last
+	handingOver  bool   // what the host was last notified of
 	cancelWait   context.CancelFunc
 
 	ended  bool
