Rename http1msg's framing, errors and fields to the terms of RFC 9112

Kind, Sized, Closed, Decisive, FieldsMost and early said too little outside of their file. Type-aware renames over all callers; no statement changes.

--- a/internal/frontend/http1/head.go
+++ b/internal/frontend/http1/head.go
@@ -33,7 +33,7 @@
 	seen := 0
 	for {
 		b, _ := r.Peek(r.Buffered())
-		n, next, err := http1msg.HeadEnd(b, seen)
+		n, next, err := http1msg.FindHeadEnd(b, seen)
 		if n > 0 || err != nil {
 			return b[:n], err
 		}
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/http1.go
@@ -234,7 +234,7 @@
 	var timeout net.Error
 	code := http.StatusBadRequest
 	switch {
-	case errors.As(err, new(*http1msg.Error)):
+	case errors.As(err, new(*http1msg.HeadError)):
 		return turnedAway(err)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		if c.limit.N == HeaderMost && (c.r == nil || c.r.Buffered() == 0) {
@@ -256,8 +256,8 @@
 		a.code = bad.code
 		a.retryAfter(bad.retryAfter)
 	}
-	if bad := (*http1msg.Error)(nil); errors.As(err, &bad) {
-		a.code = bad.Code
+	if bad := (*http1msg.HeadError)(nil); errors.As(err, &bad) {
+		a.code = bad.Status
 	}
 	return a
 }
--- a/internal/frontend/http1/plain.go
+++ b/internal/frontend/http1/plain.go
@@ -115,7 +115,7 @@
 	if r.Method != method && !(r.Method == http.MethodHead && method == http.MethodGet) {
 		return wrong(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
 	}
-	if method == http.MethodGet && framing.Kind != http1msg.Empty && !(framing.Kind == http1msg.Sized && framing.Length == 0) {
+	if method == http.MethodGet && framing.Kind != http1msg.NoBody && !(framing.Kind == http1msg.FixedLength && framing.Length == 0) {
 		return wrong(http.StatusBadRequest, "class %q takes no body", name)
 	}
 	if settings.Idempotency == balancer.IdempotentByKey && r.Header.Get("Idempotency-Key") == "" {
@@ -138,7 +138,7 @@
 	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.Rules}
 	connection := r.Header["Connection"]
 	for k, v := range r.Header {
-		if !http1msg.HopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
+		if !http1msg.IsHopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
 			out.Header[k] = v
 		}
 	}
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -197,7 +197,7 @@
 	out := &upstream.Request{Method: q.Method, Host: host, Header: make(http.Header, len(q.Header)+4), Rules: rules}
 	connection := q.Header["Connection"]
 	for k, v := range q.Header {
-		if !http1msg.HopByHop(k, connection) && k != "Expect" && k != "Host" {
+		if !http1msg.IsHopByHop(k, connection) && k != "Expect" && k != "Host" {
 			out.Header[k] = v
 		}
 	}
--- a/internal/frontend/http1/whole.go
+++ b/internal/frontend/http1/whole.go
@@ -67,7 +67,7 @@
 // hold takes in what is held of a request's body, if it may be.
 func (w *answering) hold(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
 	switch {
-	case framing.Kind == http1msg.Sized && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
+	case framing.Kind == http1msg.FixedLength && rt.BodyMost > 0 && framing.Length > rt.BodyMost:
 		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.BodyMost)
 	case !w.f.conns.hold(w.c, rt.held(framing), false):
 		return &badRequest{code: http.StatusServiceUnavailable, retryAfter: heldRetryAfter, status: "connection_limit_reached",
@@ -100,7 +100,7 @@
 		k.Request.Deadline = min(k.Request.Deadline, by)
 	}
 	in := int64(len(out.Body))
-	if framing.Kind == http1msg.Sized {
+	if framing.Kind == http1msg.FixedLength {
 		in = framing.Length
 	} else if out.Stream != nil {
 		in = -1
@@ -112,11 +112,11 @@
 // held is how many bytes of a request's body are held at most.
 func (rt *Route) held(f http1msg.Framing) int64 {
 	switch {
-	case f.Kind == http1msg.Empty:
+	case f.Kind == http1msg.NoBody:
 		return 0
-	case f.Kind == http1msg.Sized && f.Length <= rt.BodyHold:
+	case f.Kind == http1msg.FixedLength && f.Length <= rt.BodyHold:
 		return f.Length
-	case f.Kind == http1msg.Sized:
+	case f.Kind == http1msg.FixedLength:
 		return 0
 	}
 	return rt.BodyHold
@@ -145,20 +145,20 @@
 func (w *answering) body(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
 	c := w.c
 	if expect := w.q.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
-		if framing.Kind != http1msg.Empty && w.q.ProtoAtLeast(1, 1) {
+		if framing.Kind != http1msg.NoBody && w.q.ProtoAtLeast(1, 1) {
 			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
 		}
 	} else if expect != "" {
 		return bad(http.StatusExpectationFailed, "Expect makes no sense")
 	}
 	out.Sized = w.q.Header.Get("Content-Length") != ""
-	if framing.Kind == http1msg.Empty {
+	if framing.Kind == http1msg.NoBody {
 		return nil
 	}
 	c.limit.N = math.MaxInt64
 	body := http1msg.NewBody(c.r, framing)
 	length := int64(-1)
-	if framing.Kind == http1msg.Sized {
+	if framing.Kind == http1msg.FixedLength {
 		length = framing.Length
 	}
 	if length < 0 || length <= rt.BodyHold {
@@ -239,7 +239,7 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, "the body does not come")
-	case errors.Is(err, http1msg.ErrChunk), errors.Is(err, http1msg.ErrTrailer):
+	case errors.Is(err, http1msg.ErrMalformedChunk), errors.Is(err, http1msg.ErrMalformedTrailer):
 		return bad(http.StatusBadRequest, "%v", err)
 	case errors.Is(err, upstream.ErrBodyTooLong):
 		return bad(http.StatusRequestEntityTooLarge, "the body is larger than it may be")
@@ -357,7 +357,7 @@
 		status = bad.status
 	}
 	framing, frameErr := http1msg.RequestFraming(w.q.Header)
-	if frameErr == nil && framing.Kind == http1msg.Empty {
+	if frameErr == nil && framing.Kind == http1msg.NoBody {
 		return w.f.conns.take(w.c) && w.own(r, status) // nothing is in the way of the next
 	}
 	r.header.Set("Proxy-Status", w.agent+"; error="+status+"; details="+strconv.Quote(err.Error()))
@@ -383,8 +383,8 @@
 	w.edits.apply(a.Header)
 	old := !w.q.ProtoAtLeast(1, 1)
 	noBody := w.q.Method == http.MethodHead || a.Code == http.StatusNoContent || a.Code == http.StatusNotModified
-	chunked := !noBody && !old && (len(a.Trailer) > 0 || !whole && a.Framing.Kind != http1msg.Sized)
-	if !noBody && !chunked && !whole && a.Framing.Kind != http1msg.Sized {
+	chunked := !noBody && !old && (len(a.Trailer) > 0 || !whole && a.Framing.Kind != http1msg.FixedLength)
+	if !noBody && !chunked && !whole && a.Framing.Kind != http1msg.FixedLength {
 		w.last = true // only the connection's end can tell where it ends
 	}
 	b := make([]byte, 0, 1024+len(a.Held))
@@ -407,7 +407,7 @@
 		}
 	case whole:
 		b = append(b, "Content-Length: "+strconv.Itoa(len(a.Held))+"\r\n"...)
-	case a.Framing.Kind == http1msg.Sized:
+	case a.Framing.Kind == http1msg.FixedLength:
 		b = append(b, "Content-Length: "+strconv.FormatInt(a.Framing.Length, 10)+"\r\n"...)
 	}
 	if w.last {
@@ -416,14 +416,14 @@
 	b = append(b, "\r\n"...)
 	if !noBody && len(a.Held) > 0 {
 		if chunked {
-			b = http1msg.ChunkHead(b, len(a.Held))
+			b = http1msg.AppendChunkHeader(b, len(a.Held))
 			b = append(append(b, a.Held...), "\r\n"...)
 		} else {
 			b = append(b, a.Held...)
 		}
 	}
 	if whole && chunked {
-		b = http1msg.LastChunk(b, a.Trailer)
+		b = http1msg.AppendLastChunk(b, a.Trailer)
 	}
 	w.c.SetWriteDeadline(time.Now().Add(w.idle))
 	if _, err := w.c.Write(b); err != nil {
@@ -457,12 +457,12 @@
 		}
 		text := buf[room : room+n]
 		if n > 0 && chunked {
-			head := http1msg.ChunkHead(nil, n)
+			head := http1msg.AppendChunkHeader(nil, n)
 			copy(buf[room-len(head):], head)
 			text = append(buf[room-len(head):room+n], '\r', '\n')
 		}
 		if err == io.EOF && chunked {
-			text = http1msg.LastChunk(text, rest.Trailer())
+			text = http1msg.AppendLastChunk(text, rest.Trailer())
 		}
 		if len(text) > 0 {
 			w.c.SetWriteDeadline(time.Now().Add(w.idle))
@@ -484,7 +484,7 @@
 	b = append(b, http.StatusText(code)...)
 	b = append(b, "\r\n"...)
 	for k, values := range h {
-		if http1msg.HopByHop(k, connection) {
+		if http1msg.IsHopByHop(k, connection) {
 			continue
 		}
 		for _, v := range values {
--- a/internal/http1msg/body.go
+++ b/internal/http1msg/body.go
@@ -11,34 +11,34 @@
 )
 
 // Kind says how a message's body ends.
-type Kind uint8
+type FramingKind uint8
 
 // The kinds of framing (RFC 9112 section 6.3).
 const (
-	Empty   Kind = iota // there is no body
-	Sized               // after Length bytes
-	Chunked             // with a chunk of no bytes, and trailers
-	Closed              // with the connection: answers only
+	NoBody      FramingKind = iota // there is no body
+	FixedLength                    // after Length bytes
+	Chunked                        // with a chunk of no bytes, and trailers
+	UntilClose                     // with the connection: answers only
 )
 
 // Framing says where a message's body ends.
 type Framing struct {
-	Kind   Kind
+	Kind   FramingKind
 	Length int64 // of Sized
 }
 
 // The errors of framing. Each is of a message that two readers could end in two places.
 var (
-	ErrLength   = errors.New("Content-Length makes no sense")
-	ErrEncoding = errors.New("Transfer-Encoding is not chunked")
-	ErrBoth     = errors.New("both Content-Length and Transfer-Encoding")
-	ErrChunk    = errors.New("a chunk makes no sense")
-	ErrTrailer  = errors.New("a trailer makes no sense")
+	ErrContentLength     = errors.New("Content-Length makes no sense")
+	ErrTransferEncoding  = errors.New("Transfer-Encoding is not chunked")
+	ErrLengthAndEncoding = errors.New("both Content-Length and Transfer-Encoding")
+	ErrMalformedChunk    = errors.New("a chunk makes no sense")
+	ErrMalformedTrailer  = errors.New("a trailer makes no sense")
 )
 
 // RequestFraming returns how a request's body ends, by its header.
 func RequestFraming(h http.Header) (Framing, error) {
-	f, known, err := announced(h)
+	f, known, err := declaredFraming(h)
 	if err != nil || known {
 		return f, err
 	}
@@ -46,40 +46,40 @@
 }
 
 // AnswerFraming returns how an answer's body ends, by the request's method, its code and its header.
-func AnswerFraming(method string, code int, h http.Header) (Framing, error) {
-	f, known, err := announced(h)
+func ResponseFraming(method string, code int, h http.Header) (Framing, error) {
+	f, known, err := declaredFraming(h)
 	switch {
 	case err != nil:
 		return f, err
 	case method == http.MethodHead || code < 200 || code == http.StatusNoContent || code == http.StatusNotModified:
 		return Framing{}, nil // whatever its header says
 	case !known:
-		return Framing{Kind: Closed}, nil
+		return Framing{Kind: UntilClose}, nil
 	}
 	return f, nil
 }
 
 // announced returns what a header says of the body.
-func announced(h http.Header) (f Framing, known bool, err error) {
+func declaredFraming(h http.Header) (f Framing, known bool, err error) {
 	lengths, encodings := h["Content-Length"], h["Transfer-Encoding"]
 	switch {
 	case len(lengths) > 0 && len(encodings) > 0:
-		return f, false, ErrBoth
+		return f, false, ErrLengthAndEncoding
 	case len(encodings) > 1 || len(encodings) == 1 && !equalFold(encodings[0], "chunked"):
-		return f, false, ErrEncoding
+		return f, false, ErrTransferEncoding
 	case len(encodings) == 1:
 		return Framing{Kind: Chunked}, true, nil
 	case len(lengths) > 1:
-		return f, false, ErrLength
+		return f, false, ErrContentLength
 	case len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
 		if err != nil {
-			return f, false, ErrLength
+			return f, false, ErrContentLength
 		}
 		if n == 0 {
 			return Framing{}, true, nil
 		}
-		return Framing{Kind: Sized, Length: int64(n)}, true, nil
+		return Framing{Kind: FixedLength, Length: int64(n)}, true, nil
 	}
 	return f, false, nil
 }
@@ -88,19 +88,19 @@
 // as a deadline, and it takes no chunk that ends otherwise than RFC 9112 says. Read returns io.EOF only at the end that
 // the framing names; where the connection ends before, it is io.ErrUnexpectedEOF.
 type Body struct {
-	r       *bufio.Reader
-	kind    Kind
-	left    int64 // of the length, or of the present chunk
-	state   chunkState
-	extra   int // bytes of chunks' heads and trailers so far, of which there may be so many
-	trailer http.Header
-	done    bool
+	reader    *bufio.Reader
+	kind      FramingKind
+	remaining int64 // of the length, or of the present chunk
+	state     chunkState
+	overhead  int // bytes of chunks' heads and trailers so far, of which there may be so many
+	trailer   http.Header
+	done      bool
 }
 
 type chunkState uint8
 
 const (
-	chunkHead chunkState = iota
+	chunkHeader chunkState = iota
 	chunkData
 	chunkEnd
 	chunkTrailer
@@ -108,16 +108,16 @@
 
 const (
 	// lineMost is the longest line of a chunk's head or of a trailer. It must fit into the reader's buffer.
-	lineMost = 2 << 10
+	maxLineBytes = 2 << 10
 	// TrailersMost is the most bytes that the trailers of a message may have, and extensionsMost the most that its
 	// chunks' extensions may have, beyond the sixteen bytes that a chunk's head needs.
-	TrailersMost   = 8 << 10
-	extensionsMost = 8 << 10
+	MaxTrailerBytes   = 8 << 10
+	maxExtensionBytes = 8 << 10
 )
 
 // NewBody returns the body that follows in r, whose buffer holds 4 KiB at least.
 func NewBody(r *bufio.Reader, f Framing) *Body {
-	return &Body{r: r, kind: f.Kind, left: f.Length, done: f.Kind == Empty}
+	return &Body{reader: r, kind: f.Kind, remaining: f.Length, done: f.Kind == NoBody}
 }
 
 // Done says whether the body has been read to its end.
@@ -131,9 +131,9 @@
 	if b.done || b.kind == Chunked && b.state != chunkData {
 		return 0
 	}
-	n := b.r.Buffered()
-	if b.kind != Closed {
-		n = int(min(int64(n), b.left))
+	n := b.reader.Buffered()
+	if b.kind != UntilClose {
+		n = int(min(int64(n), b.remaining))
 	}
 	return n
 }
@@ -144,24 +144,24 @@
 	case b.done:
 		return 0, io.EOF
 	case b.kind == Chunked:
-		if err := b.chunk(); err != nil {
+		if err := b.advanceToData(); err != nil {
 			return 0, err
 		}
 		if b.done {
 			return 0, io.EOF
 		}
 	}
-	if b.kind != Closed && int64(len(p)) > b.left {
-		p = p[:b.left]
+	if b.kind != UntilClose && int64(len(p)) > b.remaining {
+		p = p[:b.remaining]
 	}
-	n, err := b.r.Read(p)
-	if b.kind == Closed {
+	n, err := b.reader.Read(p)
+	if b.kind == UntilClose {
 		b.done = err == io.EOF
 		return n, err
 	}
-	b.left -= int64(n)
-	if b.left == 0 {
-		if b.kind == Sized {
+	b.remaining -= int64(n)
+	if b.remaining == 0 {
+		if b.kind == FixedLength {
 			b.done = true
 		} else {
 			b.state = chunkEnd
@@ -170,10 +170,10 @@
 			err = nil // if more is wanted, the next read says so
 		}
 	}
-	return n, early(err)
+	return n, unexpectedEOF(err)
 }
 
-func early(err error) error {
+func unexpectedEOF(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
 	}
@@ -181,62 +181,62 @@
 }
 
 // chunk goes on to where data of a chunk can be read, or to the end.
-func (b *Body) chunk() error {
+func (b *Body) advanceToData() error {
 	for b.state != chunkData {
-		line, err := b.line()
+		line, err := b.peekLine()
 		if err != nil {
 			return err
 		}
 		switch b.state {
 		case chunkEnd:
 			if len(line) > 0 {
-				return ErrChunk
+				return ErrMalformedChunk
 			}
-			b.state = chunkHead
-		case chunkHead:
-			if b.left, err = chunkSize(line); err != nil {
+			b.state = chunkHeader
+		case chunkHeader:
+			if b.remaining, err = chunkSize(line); err != nil {
 				return err
 			}
-			if b.extra += max(0, len(line)-16); b.extra > extensionsMost {
-				return ErrChunk
+			if b.overhead += max(0, len(line)-16); b.overhead > maxExtensionBytes {
+				return ErrMalformedChunk
 			}
 			b.state = chunkData
-			if b.left == 0 {
-				b.state, b.extra = chunkTrailer, 0
+			if b.remaining == 0 {
+				b.state, b.overhead = chunkTrailer, 0
 			}
 		case chunkTrailer:
 			if len(line) == 0 {
-				_, _ = b.r.Discard(len(crlf)) // line has them in the buffer
+				_, _ = b.reader.Discard(len(crlf)) // line has them in the buffer
 				b.done = true
 				return nil
 			}
-			if b.extra += len(line); b.extra > TrailersMost {
-				return ErrTrailer
+			if b.overhead += len(line); b.overhead > MaxTrailerBytes {
+				return ErrMalformedTrailer
 			}
 			if err := b.addTrailer(line); err != nil {
 				return err
 			}
 		}
-		_, _ = b.r.Discard(len(line) + len(crlf)) // line has them in the buffer
+		_, _ = b.reader.Discard(len(line) + len(crlf)) // line has them in the buffer
 	}
 	return nil
 }
 
 // line returns the next line without its end, and leaves it in the buffer.
-func (b *Body) line() ([]byte, error) {
+func (b *Body) peekLine() ([]byte, error) {
 	for {
-		have, _ := b.r.Peek(b.r.Buffered())
+		have, _ := b.reader.Peek(b.reader.Buffered())
 		if i := bytes.IndexByte(have, '\n'); i >= 0 {
 			if i == 0 || have[i-1] != '\r' || bytes.IndexByte(have[:i-1], '\r') >= 0 {
-				return nil, ErrChunk
+				return nil, ErrMalformedChunk
 			}
 			return have[:i-1], nil
 		}
-		if len(have) > lineMost {
-			return nil, ErrChunk
+		if len(have) > maxLineBytes {
+			return nil, ErrMalformedChunk
 		}
-		if _, err := b.r.Peek(len(have) + 1); err != nil && b.r.Buffered() <= len(have) {
-			return nil, early(err)
+		if _, err := b.reader.Peek(len(have) + 1); err != nil && b.reader.Buffered() <= len(have) {
+			return nil, unexpectedEOF(err)
 		}
 	}
 }
@@ -246,15 +246,15 @@
 func chunkSize(line []byte) (int64, error) {
 	digits, extension, _ := bytes.Cut(line, []byte(";"))
 	if bytes.ContainsFunc(extension, isControl) {
-		return 0, ErrChunk
+		return 0, ErrMalformedChunk
 	}
 	digits = bytes.TrimRight(digits, " \t")
 	if len(digits) == 0 || len(digits) > 16 {
-		return 0, ErrChunk
+		return 0, ErrMalformedChunk
 	}
 	n, err := strconv.ParseUint(string(digits), 16, 64) // takes neither a sign nor a prefix
 	if err != nil || n > math.MaxInt64 || bytes.IndexByte(digits, '_') >= 0 {
-		return 0, ErrChunk
+		return 0, ErrMalformedChunk
 	}
 	return int64(n), nil
 }
@@ -264,11 +264,11 @@
 func (b *Body) addTrailer(line []byte) error {
 	name, value, found := bytes.Cut(line, colon)
 	if !found || !isToken(name) || bytes.ContainsFunc(value, isControl) {
-		return ErrTrailer
+		return ErrMalformedTrailer
 	}
 	key := http.CanonicalHeaderKey(string(name))
-	if Decisive[key] || key == "Trailer" || HopByHop(key, nil) {
-		return ErrTrailer
+	if SingletonHeaders[key] || key == "Trailer" || IsHopByHop(key, nil) {
+		return ErrMalformedTrailer
 	}
 	if b.trailer == nil {
 		b.trailer = http.Header{}
@@ -278,12 +278,12 @@
 }
 
 // ChunkHead appends the head of a chunk of n bytes, 1 at least, to b; behind the bytes CR LF must follow.
-func ChunkHead(b []byte, n int) []byte {
+func AppendChunkHeader(b []byte, n int) []byte {
 	return append(strconv.AppendInt(b, int64(n), 16), crlf...)
 }
 
 // LastChunk appends the end of a chunked body, with its trailers, to b.
-func LastChunk(b []byte, trailer http.Header) []byte {
+func AppendLastChunk(b []byte, trailer http.Header) []byte {
 	b = append(b, "0\r\n"...)
 	if len(trailer) > 0 {
 		var text bytes.Buffer
--- a/internal/http1msg/body_test.go
+++ b/internal/http1msg/body_test.go
@@ -28,30 +28,30 @@
 		{"3\r\nabc\r\n0\r\n\r\n", "abc", nil},
 		{"3;a=b;c=\"d\"\r\nabc\r\n0a\r\n0123456789\r\n000\r\n\r\n", "abc0123456789", nil},
 		{"3 \r\nabc\r\n0\r\nX-Sum: 7\r\n\r\n", "abc", nil},
-		{"3\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"3\r\nabc\n0\r\n\r\n", "abc", ErrChunk},
-		{"3\r\nabcd\r\n0\r\n\r\n", "abc", ErrChunk},
-		{"+3\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"-3\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"0x3\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"3_0\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{" 3\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"3;a\rb\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
-		{"ffffffffffffffff\r\n", "", ErrChunk},
-		{"10000000000000000\r\n", "", ErrChunk},
-		{"3;" + strings.Repeat("x", 5000) + "\r\nabc\r\n0\r\n\r\n", "", ErrChunk},
+		{"3\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"3\r\nabc\n0\r\n\r\n", "abc", ErrMalformedChunk},
+		{"3\r\nabcd\r\n0\r\n\r\n", "abc", ErrMalformedChunk},
+		{"+3\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"-3\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"0x3\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"3_0\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{" 3\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"3;a\rb\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
+		{"ffffffffffffffff\r\n", "", ErrMalformedChunk},
+		{"10000000000000000\r\n", "", ErrMalformedChunk},
+		{"3;" + strings.Repeat("x", 5000) + "\r\nabc\r\n0\r\n\r\n", "", ErrMalformedChunk},
 		{"3\r\nab", "ab", io.ErrUnexpectedEOF},
 		{"3\r\nabc", "abc", io.ErrUnexpectedEOF},
 		{"3\r\nabc\r\n0\r\n", "abc", io.ErrUnexpectedEOF},
-		{"0\r\nContent-Length: 5\r\n\r\n", "", ErrTrailer},
-		{"0\r\nIdempotency-Key: 5\r\n\r\n", "", ErrTrailer},
-		{"0\r\nConnection: x\r\n\r\n", "", ErrTrailer},
-		{"0\r\nX : 5\r\n\r\n", "", ErrTrailer},
-		{"0\r\n X: 5\r\n\r\n", "", ErrTrailer},
-		{"0\r\nX: 5\n\r\n", "", ErrChunk},
-		{"0\r\n" + strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 9) + "\r\n", "", ErrTrailer},
-		{strings.Repeat("1;"+strings.Repeat("x", 500)+"\r\na\r\n", 20) + "0\r\n\r\n", strings.Repeat("a", 16), ErrChunk},
+		{"0\r\nContent-Length: 5\r\n\r\n", "", ErrMalformedTrailer},
+		{"0\r\nIdempotency-Key: 5\r\n\r\n", "", ErrMalformedTrailer},
+		{"0\r\nConnection: x\r\n\r\n", "", ErrMalformedTrailer},
+		{"0\r\nX : 5\r\n\r\n", "", ErrMalformedTrailer},
+		{"0\r\n X: 5\r\n\r\n", "", ErrMalformedTrailer},
+		{"0\r\nX: 5\n\r\n", "", ErrMalformedChunk},
+		{"0\r\n" + strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 9) + "\r\n", "", ErrMalformedTrailer},
+		{strings.Repeat("1;"+strings.Repeat("x", 500)+"\r\na\r\n", 20) + "0\r\n\r\n", strings.Repeat("a", 16), ErrMalformedChunk},
 	} {
 		got, b, err := read(tc.text, Framing{Kind: Chunked})
 		if string(got) != tc.want || !errors.Is(err, tc.err) || (err == nil) != b.Done() {
@@ -78,29 +78,29 @@
 		answer  Framing
 		err     error
 	}{
-		{header(), Framing{}, Framing{Kind: Closed}, nil},
+		{header(), Framing{}, Framing{Kind: UntilClose}, nil},
 		{header("Content-Length", "0"), Framing{}, Framing{}, nil},
-		{header("Content-Length", "5"), Framing{Sized, 5}, Framing{Sized, 5}, nil},
+		{header("Content-Length", "5"), Framing{FixedLength, 5}, Framing{FixedLength, 5}, nil},
 		{header("Transfer-Encoding", "Chunked"), Framing{Kind: Chunked}, Framing{Kind: Chunked}, nil},
-		{header("Transfer-Encoding", "gzip, chunked"), Framing{}, Framing{}, ErrEncoding},
-		{header("Transfer-Encoding", "chunked", "Transfer-Encoding", "chunked"), Framing{}, Framing{}, ErrEncoding},
-		{header("Transfer-Encoding", "chunked", "Content-Length", "5"), Framing{}, Framing{}, ErrBoth},
-		{header("Content-Length", "5", "Content-Length", "5"), Framing{}, Framing{}, ErrLength},
-		{header("Content-Length", "-5"), Framing{}, Framing{}, ErrLength},
-		{header("Content-Length", "+5"), Framing{}, Framing{}, ErrLength},
-		{header("Content-Length", "9223372036854775808"), Framing{}, Framing{}, ErrLength},
+		{header("Transfer-Encoding", "gzip, chunked"), Framing{}, Framing{}, ErrTransferEncoding},
+		{header("Transfer-Encoding", "chunked", "Transfer-Encoding", "chunked"), Framing{}, Framing{}, ErrTransferEncoding},
+		{header("Transfer-Encoding", "chunked", "Content-Length", "5"), Framing{}, Framing{}, ErrLengthAndEncoding},
+		{header("Content-Length", "5", "Content-Length", "5"), Framing{}, Framing{}, ErrContentLength},
+		{header("Content-Length", "-5"), Framing{}, Framing{}, ErrContentLength},
+		{header("Content-Length", "+5"), Framing{}, Framing{}, ErrContentLength},
+		{header("Content-Length", "9223372036854775808"), Framing{}, Framing{}, ErrContentLength},
 	} {
 		if f, err := RequestFraming(tc.h); f != tc.request || err != tc.err {
 			t.Errorf("request with %v: %v, %v", tc.h, f, err)
 		}
-		if f, err := AnswerFraming("GET", 200, tc.h); f != tc.answer || err != tc.err {
+		if f, err := ResponseFraming("GET", 200, tc.h); f != tc.answer || err != tc.err {
 			t.Errorf("answer with %v: %v, %v", tc.h, f, err)
 		}
 		for _, none := range []struct {
 			method string
 			code   int
 		}{{"HEAD", 200}, {"GET", 204}, {"GET", 304}, {"GET", 103}} {
-			if f, err := AnswerFraming(none.method, none.code, tc.h); f.Kind != Empty || err != tc.err {
+			if f, err := ResponseFraming(none.method, none.code, tc.h); f.Kind != NoBody || err != tc.err {
 				t.Errorf("%v with %v: %v, %v", none, tc.h, f, err)
 			}
 		}
@@ -172,9 +172,9 @@
 		}
 		var again []byte
 		if len(got) > 0 {
-			again = append(append(ChunkHead(nil, len(got)), got...), crlf...)
+			again = append(append(AppendChunkHeader(nil, len(got)), got...), crlf...)
 		}
-		again = LastChunk(again, b.Trailer())
+		again = AppendLastChunk(again, b.Trailer())
 		got2, b2, err := read(string(again), Framing{Kind: Chunked})
 		if err != nil || !bytes.Equal(got2, got) || len(b2.Trailer()) != len(b.Trailer()) {
 			t.Errorf("%q written again: %q, %v", again, got2, err)
--- a/internal/http1msg/head.go
+++ b/internal/http1msg/head.go
@@ -12,36 +12,36 @@
 
 // FieldsMost is the most fields that a request's head may have. Each costs an endpoint work, and most servers have
 // a bound of their own not far above: what is turned away here costs nobody an attempt.
-const FieldsMost = 100
+const MaxHeaderFields = 100
 
 // Decisive are the fields that tell who asks, for what, with which key, how long, and where a message ends. Each
 // stands in a head once at most, and none may be named in Connection (RFC 9110 section 7.6.1): it would go missing on
 // the way to the endpoint, which would then not know a repeat for one. Names are in their canonical form.
-var Decisive = map[string]bool{
+var SingletonHeaders = map[string]bool{
 	"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Authorization": true, "Idempotency-Key": true,
 	"X-Trace-Id": true, "X-Qos": true, "X-Customer": true, "X-Object": true, "X-Expires-In-Ms": true,
 	"X-Second-Try": true, "X-Size-Hint": true, "X-Props": true, "Traceparent": true,
 }
 
 // Error says what is wrong with a message.
-type Error struct {
-	Code   int // that a request with it is answered with
+type HeadError struct {
+	Status int // that a request with it is answered with
 	Reason string
 }
 
-func (e *Error) Error() string { return e.Reason }
+func (e *HeadError) Error() string { return e.Reason }
 
-func wrong(code int, format string, args ...any) error {
-	return &Error{Code: code, Reason: fmt.Sprintf(format, args...)}
+func errorf(code int, format string, args ...any) error {
+	return &HeadError{Status: code, Reason: fmt.Sprintf(format, args...)}
 }
 
 // ErrLineEnd is of a head of which a line does not end with CR LF. A lone LF ends a line for some readers and not for
 // others: whoever disagrees sees another request.
-var ErrLineEnd = &Error{http.StatusBadRequest, "a line of the head does not end with CR LF"}
+var ErrLineEnd = &HeadError{http.StatusBadRequest, "a line of the head does not end with CR LF"}
 
 // HeadEnd returns the length of the head that b begins with, its empty line included, or 0 while it is not whole. Up to
 // from it has been looked at before; next is from for the next call.
-func HeadEnd(b []byte, from int) (n, next int, err error) {
+func FindHeadEnd(b []byte, from int) (n, next int, err error) {
 	for {
 		i := bytes.IndexByte(b[from:], '\n')
 		if i < 0 {
@@ -61,45 +61,45 @@
 // CheckHead says what is wrong with a request's head, whose lines end with CR LF, as an *Error: it holds it to RFC 9112
 // more strictly than http.ReadRequest, which goes by the rest. Where two readers could understand it differently, it is
 // turned away. also are fields that are decisive beside those that always are.
-func CheckHead(head []byte, also map[string]bool) error {
+func CheckHead(head []byte, extraSingletons map[string]bool) error {
 	line, rest, _ := bytes.Cut(head, crlf)
-	method, target, version := requestLine(line)
+	method, target, version := splitRequestLine(line)
 	switch {
 	case !isToken(method):
-		return wrong(http.StatusBadRequest, "the method is no token")
+		return errorf(http.StatusBadRequest, "the method is no token")
 	case len(target) == 0 || bytes.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r > '~' }):
-		return wrong(http.StatusBadRequest, "the target makes no sense")
+		return errorf(http.StatusBadRequest, "the target makes no sense")
 	case version != "HTTP/1.1" && version != "HTTP/1.0":
 		if strings.HasPrefix(version, "HTTP/") {
-			return wrong(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
+			return errorf(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
 		}
-		return wrong(http.StatusBadRequest, "that is no HTTP")
+		return errorf(http.StatusBadRequest, "that is no HTTP")
 	}
 	var seen map[string]bool
 	var host []byte
 	lengths, encodings := 0, 0
 	for n := 0; len(rest) > len(crlf); n++ {
 		line, rest, _ = bytes.Cut(rest, crlf)
-		if n == FieldsMost {
-			return wrong(http.StatusRequestHeaderFieldsTooLarge, "over %d fields", FieldsMost)
+		if n == MaxHeaderFields {
+			return errorf(http.StatusRequestHeaderFieldsTooLarge, "over %d fields", MaxHeaderFields)
 		}
 		name, value, found := bytes.Cut(line, colon)
 		switch {
 		case line[0] == ' ' || line[0] == '\t':
-			return wrong(http.StatusBadRequest, "a field is folded over lines (RFC 9112 section 5.2)")
+			return errorf(http.StatusBadRequest, "a field is folded over lines (RFC 9112 section 5.2)")
 		case !found:
-			return wrong(http.StatusBadRequest, "a field has no colon")
+			return errorf(http.StatusBadRequest, "a field has no colon")
 		case !isToken(name):
-			return wrong(http.StatusBadRequest, "%.40q is no name of a field (RFC 9112 section 5.1)", name)
+			return errorf(http.StatusBadRequest, "%.40q is no name of a field (RFC 9112 section 5.1)", name)
 		case bytes.ContainsFunc(value, isControl):
-			return wrong(http.StatusBadRequest, "%s has a control character", name)
+			return errorf(http.StatusBadRequest, "%s has a control character", name)
 		}
 		key := http.CanonicalHeaderKey(string(name))
 		switch key {
 		case "Content-Length":
 			lengths++
 			if v := bytes.Trim(value, " \t"); len(v) == 0 || bytes.ContainsFunc(v, func(r rune) bool { return r < '0' || r > '9' }) {
-				return wrong(http.StatusBadRequest, "Content-Length is no number")
+				return errorf(http.StatusBadRequest, "Content-Length is no number")
 			}
 		case "Transfer-Encoding":
 			encodings++
@@ -107,14 +107,14 @@
 			host = bytes.Trim(value, " \t")
 		case "Connection":
 			for option := range bytes.SplitSeq(value, comma) {
-				if named := http.CanonicalHeaderKey(string(bytes.Trim(option, " \t"))); Decisive[named] || also[named] {
-					return wrong(http.StatusBadRequest, "Connection must not name %s: it is not of this connection only", named)
+				if named := http.CanonicalHeaderKey(string(bytes.Trim(option, " \t"))); SingletonHeaders[named] || extraSingletons[named] {
+					return errorf(http.StatusBadRequest, "Connection must not name %s: it is not of this connection only", named)
 				}
 			}
 		}
-		if Decisive[key] || also[key] {
+		if SingletonHeaders[key] || extraSingletons[key] {
 			if seen[key] {
-				return wrong(http.StatusBadRequest, "%s stands twice", key)
+				return errorf(http.StatusBadRequest, "%s stands twice", key)
 			}
 			if seen == nil {
 				seen = map[string]bool{}
@@ -124,14 +124,14 @@
 	}
 	switch {
 	case lengths > 0 && encodings > 0:
-		return wrong(http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
+		return errorf(http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 	case version == "HTTP/1.1" && !seen["Host"]:
-		return wrong(http.StatusBadRequest, "Host is missing")
-	case seen["Host"] && target[0] != '/' && !sameHost(target, host):
+		return errorf(http.StatusBadRequest, "Host is missing")
+	case seen["Host"] && target[0] != '/' && !targetMatchesHost(target, host):
 		// RFC 9112 section 3.2.2 goes by the target; who goes by Host serves another site.
-		return wrong(http.StatusBadRequest, "the target and Host name two hosts")
+		return errorf(http.StatusBadRequest, "the target and Host name two hosts")
 	case encodings > 0 && version == "HTTP/1.0":
-		return wrong(http.StatusBadRequest, "HTTP/1.0 has no Transfer-Encoding")
+		return errorf(http.StatusBadRequest, "HTTP/1.0 has no Transfer-Encoding")
 	}
 	return nil
 }
@@ -143,7 +143,7 @@
 )
 
 // requestLine takes a request line apart: exactly one space stands between its parts.
-func requestLine(line []byte) (method, target []byte, version string) {
+func splitRequestLine(line []byte) (method, target []byte, version string) {
 	a, b := bytes.IndexByte(line, ' '), bytes.LastIndexByte(line, ' ')
 	if a < 0 || a == b {
 		return line, nil, ""
@@ -152,7 +152,7 @@
 }
 
 // sameHost says whether a target in absolute form, if it is one, names a host.
-func sameHost(target, host []byte) bool {
+func targetMatchesHost(target, host []byte) bool {
 	_, rest, found := bytes.Cut(target, []byte("://"))
 	if !found {
 		return true
@@ -164,22 +164,22 @@
 }
 
 // HopByHop says whether a field concerns one connection only, by its canonical name and by what Connection names.
-func HopByHop(name string, connection []string) bool {
+func IsHopByHop(name string, connection []string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
 		return true
 	}
-	return names(connection, name)
+	return listContains(connection, name)
 }
 
 // Closes says whether Connection asks for the connection's end behind the message.
-func Closes(connection []string) bool { return names(connection, "close") }
+func HasClose(connection []string) bool { return listContains(connection, "close") }
 
 // names says whether a list of words, over several fields, has one.
-func names(fields []string, word string) bool {
+func listContains(fields []string, option string) bool {
 	for _, v := range fields {
 		for named := range strings.SplitSeq(v, ",") {
-			if equalFold(strings.Trim(named, " \t"), word) {
+			if equalFold(strings.Trim(named, " \t"), option) {
 				return true
 			}
 		}
@@ -200,7 +200,7 @@
 }
 
 // IsValue says whether a text may be a field's value (RFC 9110 section 5.5).
-func IsValue(s string) bool { return !strings.ContainsFunc(s, isControl) }
+func IsFieldValue(s string) bool { return !strings.ContainsFunc(s, isControl) }
 
 // IsToken says whether a text is a token (RFC 9110 section 5.6.2), as methods and names of fields are.
 func IsToken(s string) bool { return isToken([]byte(s)) }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -148,7 +148,7 @@
 		{"folded field", head("X-A: b", " c", "Content-Length: 0"), "400"},
 		{"lone line feed", strings.Replace(hidden, "svc\r\n", "svc\n", 1), "400"},
 		{"lone line feeds only", strings.ReplaceAll(hidden, "\r", ""), "400"},
-		{"many fields", head(strings.Repeat("X-A: b\r\n", http1msg.FieldsMost) + "Content-Length: 0"), "431"},
+		{"many fields", head(strings.Repeat("X-A: b\r\n", http1msg.MaxHeaderFields) + "Content-Length: 0"), "431"},
 		{"one length twice", head("Content-Length: 0", "Content-Length: 0"), "400"},
 		{"two spaces", strings.Replace(hidden, "/pay", " /pay", 1), "400"},
 		{"wrong expectation", head("Expect: wonders", "Content-Length: 0"), "417"},
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -319,7 +319,7 @@
 		if n > 0 {
 			text := buf[room : room+n]
 			if s.Length < 0 {
-				head := http1msg.ChunkHead(nil, n)
+				head := http1msg.AppendChunkHeader(nil, n)
 				copy(buf[room-len(head):], head)
 				text = append(buf[room-len(head):room+n], '\r', '\n')
 			}
@@ -332,7 +332,7 @@
 		case err == io.EOF:
 			if s.Length < 0 {
 				e.c.SetWriteDeadline(time.Now().Add(e.q.Rules.Idle))
-				if _, failed := e.c.Write(http1msg.LastChunk(nil, s.Body.Trailer())); failed != nil {
+				if _, failed := e.c.Write(http1msg.AppendLastChunk(nil, s.Body.Trailer())); failed != nil {
 					return true
 				}
 			}
@@ -399,8 +399,8 @@
 			continue
 		}
 		a.Code, a.Header = g.code, g.Header
-		a.Framing, err = http1msg.AnswerFraming(e.q.Method, g.code, g.Header)
-		return a, g.last || a.Framing.Kind == http1msg.Closed, err
+		a.Framing, err = http1msg.ResponseFraming(e.q.Method, g.code, g.Header)
+		return a, g.last || a.Framing.Kind == http1msg.UntilClose, err
 	}
 	return nil, false, errTooLarge
 }
@@ -412,7 +412,7 @@
 			return false
 		}
 		for _, v := range values {
-			if !http1msg.IsValue(v) {
+			if !http1msg.IsFieldValue(v) {
 				return false
 			}
 		}
@@ -427,11 +427,11 @@
 		return true, nil
 	}
 	rules := e.q.Rules
-	if a.Framing.Kind == http1msg.Sized && a.Framing.Length > rules.Hold {
+	if a.Framing.Kind == http1msg.FixedLength && a.Framing.Length > rules.Hold {
 		return false, nil
 	}
 	size := int64(512)
-	if a.Framing.Kind == http1msg.Sized {
+	if a.Framing.Kind == http1msg.FixedLength {
 		size = a.Framing.Length
 	}
 	a.Held = make([]byte, 0, min(size, rules.Hold)+1)
@@ -450,10 +450,10 @@
 		switch {
 		case err == io.EOF:
 			return true, nil
-		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized && len(a.Held) > 0:
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.FixedLength && len(a.Held) > 0:
 			e.t.ResponseProgress() // it is slow, but not silent
 			until = time.Time{}
-		case isTimeout(err) && patient && a.Framing.Kind == http1msg.Sized:
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.FixedLength:
 			// A head alone is not passed on: its client would be shown an answer that may never come, where another try may yet
 			// serve it. The attempt's own time bounds this.
 			until = time.Now().Add(holdTime)
@@ -510,12 +510,12 @@
 	case s != nil || len(q.Trailer) > 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 		if len(q.Body) > 0 {
-			b.Write(http1msg.ChunkHead(nil, len(q.Body)))
+			b.Write(http1msg.AppendChunkHeader(nil, len(q.Body)))
 			b.Write(q.Body)
 			b.WriteString("\r\n")
 		}
 		if s == nil {
-			b.Write(http1msg.LastChunk(nil, q.Trailer))
+			b.Write(http1msg.AppendLastChunk(nil, q.Trailer))
 		}
 	default:
 		if len(q.Body) > 0 || q.Sized {
