--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -39,20 +39,20 @@
 			CollapseAfter:    1_000_000, PollInterval: 1_000_000}}}
 }
 
-// running runs a core until the test ends.
-func running(t *testing.T, known ...engine.EndpointInfo) (*Pool, upstreams) {
+// startCore runs a core until the test ends.
+func startCore(t *testing.T, known ...engine.EndpointInfo) (*Pool, upstreams) {
 	t.Helper()
 	u := upstreams{made: make(chan string, 16)}
 	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: scriptedpeer.Quiet})
-	p := pool(t, x, "", known...)
+	p := addPool(t, x, "", known...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.Run(ctx)
 	t.Cleanup(func() { cancel(); <-x.stopped })
 	return p, u
 }
 
-// pool adds a pool to a core.
-func pool(t *testing.T, x *Core, name string, known ...engine.EndpointInfo) *Pool {
+// addPool adds a pool to a core.
+func addPool(t *testing.T, x *Core, name string, known ...engine.EndpointInfo) *Pool {
 	t.Helper()
 	p, err := x.NewPool(engine.PoolConfig{
 		Name:             name,
@@ -75,7 +75,7 @@
 
 // Without any endpoint a core is not ready; with one it is.
 func TestReadyOnceAnEndpointIsReady(t *testing.T) {
-	p, _ := running(t)
+	p, _ := startCore(t)
 	x := p.core
 	x.sync(t)
 	if x.Ready() {
@@ -91,7 +91,7 @@
 
 // A list that is older than the current one is ignored, unless another source gives it.
 func TestStaleListIsIgnored(t *testing.T) {
-	p, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
+	p, u := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a", State: balancer.Draining})
 	x := p.core
 	up := []engine.EndpointInfo{{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"}}
 	p.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFull, Generation: 6,
@@ -116,7 +116,7 @@
 
 // An update that comes after the end of its watch is ignored: it may be older than what the next watch has given.
 func TestUpdateOfEndedWatchIsIgnored(t *testing.T) {
-	p, u := running(t)
+	p, u := startCore(t)
 	x := p.core
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -130,7 +130,7 @@
 
 // A request gets one response, whatever its attempts do, and nobody waits for it once the core has stopped.
 func TestEachRequestGetsOneResponse(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	release := make(chan struct{})
 	in := balancer.Request{Deadline: x.config.Clock.Now() + 1_000_000}
@@ -187,9 +187,9 @@
 
 // Each pool has its own endpoints. A pool that is closed with a request open finishes it, and accepts nothing new.
 func TestClosedPoolDissolvesOnceIdle(t *testing.T) {
-	first, u := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	first, u := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := first.core
-	second := pool(t, x, "second", engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
+	second := addPool(t, x, "second", engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:2", Zone: "a"})
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -237,7 +237,7 @@
 
 // A response that has started is the client's: neither the deadline nor the rest of the attempt changes that.
 func TestStartedResponseOutlivesDeadline(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1, MaxOpen: 1})
 	if err != nil {
@@ -285,7 +285,7 @@
 
 // A client that goes just as its response starts leaves no attempt that waits for a reader.
 func TestClientGoneAsResponseStartsAbortsAttempt(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
@@ -311,7 +311,7 @@
 // A request that cannot be sent again is not retried, whatever its class allows. The balancer decides whether it is
 // rejected or failed, as for any other: the class is safe.
 func TestRequestNotReplayableIsNotRetried(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"},
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"},
 		engine.EndpointInfo{Name: "s-2", Addr: "127.0.0.1:2", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
@@ -340,7 +340,7 @@
 // The sending of an aborted attempt has ended before any other event, however long its function takes to notice: no two
 // attempts are out where two are not allowed.
 func TestAbortEndsSendingBeforeNextEvent(t *testing.T) {
-	p, _ := running(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
 	x := p.core
 	client, err := engine.NewClient(fairqueue.ClientSpec{Name: "c", Weight: 1})
 	if err != nil {
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -82,8 +82,8 @@
 	if b.Reason != o.loggedReason && now-o.loggedAt >= overloadLogInterval {
 		o.loggedReason = b.Reason
 		o.loggedAt = now
-		p.engine.config.Host.Log("overload", "pool", p.name,
-			"reason", b.Reason.String(), "load", b.Load, "let", b.AdmittedRatio, "level", b.Level)
+		p.engine.config.Host.Log("overload bounds changed", "pool", p.name,
+			"reason", b.Reason.String(), "load", b.Load, "admitted", b.AdmittedRatio, "level", b.Level)
 	}
 }
 
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -263,7 +263,7 @@
 	s.set.SetLoad(now, s.meanInFlight)
 	if s.set.Advance(now) && !p.dissolved {
 		p.engine.config.Host.Log("subset changed", "pool", p.name,
-			"members", len(s.set.Members()), "of", len(s.endpoints), "widened", s.set.Doublings())
+			"members", len(s.set.Members()), "listed", len(s.endpoints), "widened", s.set.Doublings())
 		p.updateBalancer(now, EndpointUpdate{Kind: balancer.ListFull, Endpoints: s.members()})
 	}
 	p.scheduleSubsetStep()
