--- a/internal/decide/fairqueue/fairqueue_test.go
+++ b/internal/decide/fairqueue/fairqueue_test.go
@@ -251,8 +251,11 @@
 func TestEveryRequestIsAdmittedOrRejectedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
-		s := Settings{InitialTimes: []monotime.Micros{5 * ms, 20 * ms}, MaxInFlight: rapid.IntRange(0, 6).Draw(t, "slots"),
-			Shared: &SharedLimit{Max: rapid.SampledFrom([]int{0, 5, 50}).Draw(t, "open")}}
+		s := Settings{
+			InitialTimes: []monotime.Micros{5 * ms, 20 * ms},
+			MaxInFlight:  rapid.IntRange(0, 6).Draw(t, "slots"),
+			Shared:       &SharedLimit{Max: rapid.SampledFrom([]int{0, 5, 50}).Draw(t, "open")},
+		}
 		w := newSimulation(t, s, func(uint64) monotime.Micros { return rng.Int64N(40 * ms) })
 		var clients []*Client
 		for i := range rapid.IntRange(1, 4).Draw(t, "clients") {
@@ -311,7 +314,8 @@
 func TestLightClientIsIsolatedFromHeavyClient(t *testing.T) {
 	run := func(heavyLoad float64) (p99 monotime.Micros, rejected int, share float64) {
 		rng := rand.New(rand.NewPCG(5, 3))
-		w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 16}, func(uint64) monotime.Micros {
+		settings := Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 16}
+		w := newSimulation(t, settings, func(uint64) monotime.Micros {
 			return 8*ms + rng.Int64N(4*ms)
 		})
 		light := newTestClient(t, ClientSpec{Name: "light", Weight: 1})
@@ -335,7 +339,9 @@
 				continue
 			}
 			next[1] += rng.ExpFloat64() / (400 * heavyLoad) * float64(second)
-			w.enqueue(heavy, 0, w.now+250*ms, func(p *simRequest, end monotime.Micros) { all += end - p.startedAt }, nil)
+			w.enqueue(heavy, 0, w.now+250*ms, func(p *simRequest, end monotime.Micros) {
+				all += end - p.startedAt
+			}, nil)
 		}
 		slices.Sort(times)
 		return times[len(times)*99/100], rejected, 1 - float64(lightTime)/float64(all)
@@ -387,7 +393,8 @@
 
 // A waiting request is rejected at the instant from which its answer could not be in time.
 func TestRejectsWaitingRequestAtItsLatestStart(t *testing.T) {
-	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1}, func(id uint64) monotime.Micros {
+	settings := Settings{InitialTimes: []monotime.Micros{10 * ms}, MaxInFlight: 1}
+	w := newSimulation(t, settings, func(id uint64) monotime.Micros {
 		return map[bool]monotime.Micros{true: second, false: 10 * ms}[id == 1] // the first hangs
 	})
 	c := newTestClient(t, ClientSpec{Name: "c", Weight: 1})
@@ -454,7 +461,8 @@
 
 // A client whose weight changes has its new share from then on.
 func TestClientUpdateChangesItsShare(t *testing.T) {
-	w := newSimulation(t, Settings{InitialTimes: []monotime.Micros{ms}, MaxInFlight: 2}, func(uint64) monotime.Micros { return ms })
+	settings := Settings{InitialTimes: []monotime.Micros{ms}, MaxInFlight: 2}
+	w := newSimulation(t, settings, func(uint64) monotime.Micros { return ms })
 	a, b := newTestClient(t, ClientSpec{Name: "a", Weight: 1}), newTestClient(t, ClientSpec{Name: "b", Weight: 1})
 	var done [2]int
 	for i, c := range []*Client{a, b} {
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -137,7 +137,7 @@
 		most      float64
 	}{
 		{"numbered", 2000, func(i int) int { return i }, 1.03},
-		{"half of them lost, by chance", 2000, func(i int) int { return 2*i + int(hash64.SplitMix(uint64(i))&1) }, 1.25},
+		{"half lost, by chance", 2000, func(i int) int { return 2*i + int(hash64.SplitMix(uint64(i))&1) }, 1.25},
 		{"every second one lost", 2000, func(i int) int { return 2 * i }, 1.35},
 		{"hashes of names", 2000, func(i int) int { return int(hash64.SplitMix(uint64(i)) >> 33) }, 1.35},
 	} {
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -395,6 +395,12 @@
 	}
 }
 
+// sentAttempt is an attempt that has not ended.
+type sentAttempt struct {
+	zone  int
+	spill bool
+}
+
 // Whatever happens, spill never uses more than its part of a zone's capacity, each attempt is counted back, and a
 // request with a required zone goes to no other.
 func TestSpillStaysWithinLimits(t *testing.T) {
@@ -407,11 +413,7 @@
 			t.Fatal(err)
 		}
 		rng := rand.New(rand.NewPCG(s.Seed, 9))
-		type out struct {
-			zone  int
-			spill bool
-		}
-		var inFlight []out
+		var inFlight []sentAttempt
 		now := monotime.Micros(0)
 		for range 3000 {
 			now += monotime.Micros(rng.IntN(3000))
@@ -436,7 +438,7 @@
 				if a.Spill && float64(z.spillInFlight) > maxSpill {
 					t.Fatalf("%d spilled in flight of %d", z.spillInFlight, z.limiter.Limit())
 				}
-				inFlight = append(inFlight, out{a.Zone, a.Spill})
+				inFlight = append(inFlight, sentAttempt{a.Zone, a.Spill})
 			case len(inFlight) > 0:
 				i := rng.IntN(len(inFlight))
 				f := inFlight[i]
