--- a/internal/daemon/accesslog.go
+++ b/internal/daemon/accesslog.go
@@ -34,7 +34,7 @@
 }
 
 // recordExchange adds a finished request to the canary tally and the access log.
-func (d *generation) recordExchange(x *http1.Exchange) {
+func (d *generation) recordExchange(x *http1.ExchangeRecord) {
 	if d.tally != nil {
 		d.tally.add(x)
 	}
@@ -44,37 +44,37 @@
 }
 
 // accessLogRow returns the row of the access log for a request.
-func (d *generation) accessLogRow(x *http1.Exchange) accesslog.Row {
+func (d *generation) accessLogRow(x *http1.ExchangeRecord) accesslog.Row {
 	site := &d.options.Config.Site
 	h := d.keyHasher
 	r := accesslog.Row{
-		Arrived:  x.Arrived,
-		Took:     x.Ended - x.Arrived,
-		Waited:   x.Answer.QueueTime,
-		Patience: x.Patience,
-		Client:   x.Client,
-		Route:    x.Route,
+		Arrived:  x.ArrivedAt,
+		Took:     x.EndedAt - x.ArrivedAt,
+		Waited:   x.Response.QueueTime,
+		Patience: x.ClientTimeout,
+		Client:   x.ClientName,
+		Route:    x.RouteName,
 		Class:    site.Classes[x.Class],
-		Endpoint: x.Answer.Endpoint,
+		Endpoint: x.Response.Endpoint,
 		Status:   int32(x.Status),
-		Attempts: int32(x.Answer.Attempts),
-		Key:      h.Hash("key", x.Key),
+		Attempts: int32(x.Response.Attempts),
+		Key:      h.Hash("key", x.IdempotencyKey),
 		Object:   h.Hash("object", x.Object),
-		In:       x.In,
-		Out:      x.Out,
+		In:       x.RequestBytes,
+		Out:      x.ResponseBytes,
 		Retry:    x.Retry,
 	}
 	if int(x.Tenant) < len(site.Tenants) {
 		r.Tenant = site.Tenants[x.Tenant]
 	}
 	switch {
-	case x.Left:
+	case x.ClientGone:
 		r.Verdict = accesslog.Left
-	case x.Answer.Verdict == engine.Served:
+	case x.Response.Verdict == engine.Served:
 		r.Verdict = accesslog.Served
-	case x.Answer.Verdict == engine.Rejected, x.Answer.Verdict == engine.RateLimited:
+	case x.Response.Verdict == engine.Rejected, x.Response.Verdict == engine.RateLimited:
 		r.Verdict = accesslog.Refused
-	case x.Answer.Verdict == engine.TimedOut:
+	case x.Response.Verdict == engine.TimedOut:
 		r.Verdict = accesslog.Late
 	default:
 		r.Verdict = accesslog.Failed
--- a/internal/daemon/canary_tally.go
+++ b/internal/daemon/canary_tally.go
@@ -35,27 +35,27 @@
 }
 
 // add takes in a finished request. One whose client left before its deadline is not counted.
-func (t *canaryTally) add(x *http1.Exchange) {
+func (t *canaryTally) add(x *http1.ExchangeRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if int(x.Class) >= len(t.objectives) {
 		return
 	}
 	c := &t.objectives[x.Class]
-	took := x.Ended - x.Arrived
-	if x.Left && took < x.Patience {
+	took := x.EndedAt - x.ArrivedAt
+	if x.ClientGone && took < x.ClientTimeout {
 		return
 	}
 	t.sample.Requests++
 	t.sample.OfferedWeight += c.PriorityWeight
 	switch {
-	case x.Left:
+	case x.ClientGone:
 		t.sample.Failed++
-	case x.Answer.Verdict == engine.Served && took <= c.LatencyObjective:
+	case x.Response.Verdict == engine.Served && took <= c.LatencyObjective:
 		t.sample.ServedWeight += c.PriorityWeight
-	case x.Answer.Verdict == engine.Served:
+	case x.Response.Verdict == engine.Served:
 		t.sample.ServedWeight += c.PriorityWeight * c.LateWeight
-	case x.Answer.Verdict == engine.Failed || x.Answer.Verdict == engine.TimedOut:
+	case x.Response.Verdict == engine.Failed || x.Response.Verdict == engine.TimedOut:
 		t.sample.Failed++
 	}
 }
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -17,7 +17,7 @@
 // credentials of the process that connected (SO_PEERCRED, unix(7)). After a hot restart the successor finds the
 // same.
 type clients struct {
-	front *http1.Front
+	front *http1.Server
 
 	mu        sync.Mutex
 	config    *config.Config
@@ -45,14 +45,14 @@
 
 const othersName = "others"
 
-func newClients(front *http1.Front, c *config.Config) (*clients, error) {
+func newClients(front *http1.Server, c *config.Config) (*clients, error) {
 	k := &clients{front: front, byName: map[string]*http1.Client{}, processes: map[clientProcess]*processClient{}}
 	_, err := k.change(c)
 	return k, err
 }
 
-func spec(name string, b *config.Bounds) http1.Spec {
-	return http1.Spec{ClientSpec: b.Share(name), Connections: b.Connections, Bytes: b.Bytes.Bytes}
+func spec(name string, b *config.Bounds) http1.ClientSettings {
+	return http1.ClientSettings{ClientSpec: b.Share(name), MaxConnections: b.Connections, MaxBytes: b.Bytes.Bytes}
 }
 
 // change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
@@ -66,12 +66,12 @@
 			was[cl.Name] = cl
 		}
 	}
-	set := func(to *http1.Client, s http1.Spec) (*http1.Client, error) {
+	set := func(to *http1.Client, s http1.ClientSettings) (*http1.Client, error) {
 		changed++
 		if to == nil {
 			return k.front.NewClient(s)
 		}
-		return to, k.front.ChangeClient(to, s)
+		return to, k.front.UpdateClient(to, s)
 	}
 	byName := map[string]*http1.Client{}
 	for i := range c.Clients {
@@ -83,7 +83,7 @@
 			}
 			for p, s := range k.processes {
 				if p.client == cl.Name {
-					if err := k.front.ChangeClient(s.client, spec(s.client.Name, &cl.Bounds)); err != nil {
+					if err := k.front.UpdateClient(s.client, spec(s.client.Name, &cl.Bounds)); err != nil {
 						return changed, err
 					}
 				}
@@ -216,7 +216,7 @@
 	defer k.mu.Unlock()
 	var all []Held
 	add := func(c *http1.Client) {
-		conns, open, bytes := k.front.Held(c)
+		conns, open, bytes := k.front.ClientUsage(c)
 		all = append(all, Held{c.Name, conns, open, bytes})
 	}
 	for _, c := range k.byName {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -151,7 +151,7 @@
 	}
 	// All is given back.
 	scriptedpeer.Eventually(t, "nothing open", func() bool {
-		conns, busy := third.front.Conns()
+		conns, busy := third.front.ConnectionCounts()
 		counts := third.pools[""].endpoints.Counts()
 		return conns == 0 && busy == 0 && counts.Queued == 0 && counts.InFlight == 0 && counts.OpenCalls == 0
 	})
@@ -256,7 +256,7 @@
 			<-p.ended
 		}
 		scriptedpeer.Eventually(t, "all given back", func() bool {
-			conns, busy := d.front.Conns()
+			conns, busy := d.front.ConnectionCounts()
 			counts := d.pools[""].endpoints.Counts()
 			for _, h := range d.clients.held() {
 				if h.Client != "desk" && h != (Held{Client: h.Client}) {
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -27,7 +27,7 @@
 	upstreams *upstream.Pool // to endpoints
 	core      *core.Core
 	pools     pools
-	front     *http1.Front
+	front     *http1.Server
 	clients   *clients
 
 	gossip        atomic.Pointer[peers.Peers] // nil while it is among no others
@@ -96,7 +96,7 @@
 		}
 		d.pools[conf.Name] = p
 	}
-	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendWhole: d.upstreams.SendWhole, Log: o.Log,
+	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendAttempt: d.upstreams.SendWhole, Log: o.Log,
 		Limits: c.RestLimits()}
 	if p := d.pools[""]; p != nil {
 		front.Pool = p.endpoints
@@ -107,7 +107,7 @@
 		d.tally.setObjectives(c.Site.Settings.Classes, nil)
 	}
 	if c.Record.Dir != "" || d.tally != nil {
-		front.Record = d.recordExchange
+		front.RecordExchange = d.recordExchange
 	}
 	if d.front, err = http1.New(front); err != nil {
 		return nil, err
@@ -145,7 +145,7 @@
 	if d.cancel != nil {
 		d.cancel()
 	}
-	d.front.Cut() // nothing is left, unless the start failed
+	d.front.CloseAll() // nothing is left, unless the start failed
 	d.goroutines.Wait()
 	if d.recorder != nil {
 		d.recorder.Close()
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -93,7 +93,7 @@
 }
 
 // accept serves the listener's connections until it is paused or closed.
-func (l *listener) accept(f *http1.Front) {
+func (l *listener) accept(f *http1.Server) {
 	if l.accepting {
 		return
 	}
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -65,13 +65,13 @@
 
 // HandOverConnections hands idle connections to the successor.
 func (l *lifecycle) HandOverConnections(successor *takeover.Conn) {
-	l.front.Release(func(conn net.Conn) bool { return successor.HandOver(conn) == nil })
+	l.front.SetHandoff(func(conn net.Conn) bool { return successor.HandOver(conn) == nil })
 	l.WaitUntilDrained()
 }
 
 // ResumeServing accepts again: the successor was lost.
 func (l *lifecycle) ResumeServing() {
-	l.front.Release(nil)
+	l.front.SetHandoff(nil)
 	l.core.CancelHandover()
 	l.joinFleet()
 	l.CancelWait()
@@ -89,7 +89,7 @@
 // connection, and endpoints that are warming up get nothing more.
 func (l *lifecycle) Drain() {
 	l.log.Info("draining")
-	l.front.Release(nil)
+	l.front.SetHandoff(nil)
 	l.front.Quiesce()
 	l.core.SnapshotForHandover()
 	if l.successorListener != nil {
@@ -110,7 +110,7 @@
 // CloseRemaining closes what is still open at the end of takeover.drain_within.
 func (l *lifecycle) CloseRemaining() {
 	l.log.Warn("drain timeout, connections closed")
-	l.front.Cut()
+	l.front.CloseAll()
 }
 
 // SendFailed logs that a message could not be written to the successor.
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -18,12 +18,12 @@
 		d.front.SetRoutes(nil)
 		return
 	}
-	all := &http1.Routes{Table: c.Table, Agent: agent(c.Name), Decisive: map[string]bool{}}
+	all := &http1.Routes{Table: c.Table, ProxyName: agent(c.Name), SingletonHeaders: map[string]bool{}}
 	if c.Paths.EncodedSlash == "keep" {
-		all.Slashes = route.KeepEncodedSlashes
+		all.EncodedSlashes = route.KeepEncodedSlashes
 	}
 	for i := range c.Routes {
-		all.Routes = append(all.Routes, d.routeOf(c, i, all.Decisive))
+		all.Routes = append(all.Routes, d.routeOf(c, i, all.SingletonHeaders))
 	}
 	d.front.SetRoutes(all)
 }
@@ -47,45 +47,45 @@
 		}
 		return uint8(slices.Index(c.Site.Classes, name))
 	}
-	source := func(text string) http1.Source {
+	source := func(text string) http1.ValueSource {
 		kind, name, _ := strings.Cut(text, ":")
 		switch {
 		case text == "":
 		case kind == "header":
 			name = http.CanonicalHeaderKey(name)
 			decisive[name] = true
-			return http1.Source{Kind: http1.FromHeader, Name: name}
+			return http1.ValueSource{Kind: http1.FromHeader, Name: name}
 		case kind == "path":
 			place, _ := c.Table.ParameterIndex(i, name)
-			return http1.Source{Kind: http1.FromSegment, Segment: place}
+			return http1.ValueSource{Kind: http1.FromPathSegment, Segment: place}
 		case text == "client":
-			return http1.Source{Kind: http1.FromClient}
+			return http1.ValueSource{Kind: http1.FromClientName}
 		default:
-			return http1.Source{Kind: http1.Fixed, Name: strings.TrimPrefix(text, "=")}
+			return http1.ValueSource{Kind: http1.FixedValue, Name: strings.TrimPrefix(text, "=")}
 		}
-		return http1.Source{}
+		return http1.ValueSource{}
 	}
 	r := http1.Route{
-		Name:        conf.Name,
-		Pool:        d.pools[conf.Pool].endpoints,
-		Safe:        classOf(config.ReadClass),
-		Other:       classOf(config.WriteClass),
-		Tenant:      source(conf.Tenant),
-		Object:      source(conf.Object),
-		Key:         source(conf.Key),
-		ID:          source(conf.ID),
-		Deadline:    source(conf.Deadline),
-		Tries:       conf.Tries,
-		BodyMost:    conf.BodyMost.Bytes,
-		BodyHold:    conf.BodyHold.Bytes,
-		Whole:       conf.Whole.Duration,
-		Host:        conf.ToHost,
-		StripPrefix: conf.StripPrefix,
-		AddPrefix:   conf.AddPrefix,
-		Trusted:     conf.Trusted,
-		Forwarded:   http1.Forwarded(slices.Index(config.Forwarding, conf.Forwarded)),
-		Request:     edits(&conf.Request),
-		Answer:      edits(&conf.Answer),
+		Name:           conf.Name,
+		Pool:           d.pools[conf.Pool].endpoints,
+		SafeClass:      classOf(config.ReadClass),
+		UnsafeClass:    classOf(config.WriteClass),
+		Tenant:         source(conf.Tenant),
+		Object:         source(conf.Object),
+		IdempotencyKey: source(conf.Key),
+		RequestID:      source(conf.ID),
+		Deadline:       source(conf.Deadline),
+		MaxAttempts:    conf.Tries,
+		MaxBodyBytes:   conf.BodyMost.Bytes,
+		BufferBytes:    conf.BodyHold.Bytes,
+		StreamTimeout:  conf.Whole.Duration,
+		HostOverride:   conf.ToHost,
+		StripPrefix:    conf.StripPrefix,
+		AddPrefix:      conf.AddPrefix,
+		TrustForwarded: conf.Trusted,
+		ForwardedMode:  http1.ForwardedMode(slices.Index(config.Forwarding, conf.Forwarded)),
+		RequestEdits:   edits(&conf.Request),
+		ResponseEdits:  edits(&conf.Answer),
 	}
 	for name := range conf.Headers {
 		decisive[http.CanonicalHeaderKey(name)] = true
@@ -111,12 +111,12 @@
 		}
 		return x
 	}
-	r.Rules = rules(r.Safe)
-	r.OtherRules = rules(r.Other)
+	r.SafeRules = rules(r.SafeClass)
+	r.UnsafeRules = rules(r.UnsafeClass)
 	return r
 }
 
-func edits(e *config.Edits) http1.Edits {
+func edits(e *config.Edits) http1.HeaderEdits {
 	canonical := func(of map[string]string) map[string]string {
 		all := map[string]string{}
 		for name, v := range of {
@@ -124,7 +124,7 @@
 		}
 		return all
 	}
-	x := http1.Edits{Set: canonical(e.Set), Add: canonical(e.Add)}
+	x := http1.HeaderEdits{Set: canonical(e.Set), Add: canonical(e.Add)}
 	for _, name := range e.Remove {
 		x.Remove = append(x.Remove, http.CanonicalHeaderKey(name))
 	}
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -86,7 +86,7 @@
 	// The first handover ends once the open request has its answer, from the old process.
 	second, serving := launch(t, c.config, testLog())
 	second.addrs = scriptedpeer.Within(t, serving, "second")
-	if n, _ := d.front.Conns(); n == 0 {
+	if n, _ := d.front.ConnectionCounts(); n == 0 {
 		t.Error("the first has ended with a request open")
 	}
 	close(hold)
@@ -111,7 +111,7 @@
 	if s := third.core.Snapshot().Pools[0]; len(s.Learned.Endpoints) != 3 || s.Learned.Endpoints[0].RTT.Samples < 2 {
 		t.Errorf("what the third knows: %+v", s.Learned)
 	}
-	if all, _ := third.front.Conns(); all < 3 {
+	if all, _ := third.front.ConnectionCounts(); all < 3 {
 		t.Errorf("%d connections went on", all)
 	}
 }
@@ -146,10 +146,10 @@
 			t.Errorf("%s, close %v", resp.Status, resp.Close)
 		}
 	}
-	if all, _ := first.front.Conns(); all != 1 {
+	if all, _ := first.front.ConnectionCounts(); all != 1 {
 		t.Errorf("the first has %d connections, and should have the one with the open request", all)
 	}
-	if all, _ := third.front.Conns(); all != 20 {
+	if all, _ := third.front.ConnectionCounts(); all != 20 {
 		t.Errorf("the last has %d connections of 20", all)
 	}
 	close(hold)
--- a/internal/frontend/http1/plain.go
+++ b/internal/frontend/http1/class_requests.go
@@ -23,54 +23,54 @@
 const (
 	// plainHold is what is held of a body in either direction. Up to so many bytes a message's time is that of its last
 	// byte, and beyond it that of its first (DAYS), so that holding more would only make it later.
-	plainHold = siteconfig.MaxBodyBytes
+	classBodyBuffer = siteconfig.MaxBodyBytes
 	// plainIdle is how long a message that streams may say nothing. Peers write slowly and in pieces, a client 64 kB a
 	// second at the least; who is silent for longer than any request may take is gone.
-	plainIdle = 10 * time.Second
+	classIdleTimeout = 10 * time.Second
 	// plainMost bounds a body that streams, at twice what there is (DAYS): no length is to be promised to an endpoint that
 	// cannot come in plainWhole.
-	plainMost = 64 << 20
+	maxClassBody = 64 << 20
 	// plainWhole bounds a body that streams: 32 MB at 64 kB a second take 512 s.
-	plainWhole = 10 * time.Minute
+	classStreamTimeout = 10 * time.Minute
 	// slowBody is at least how many bytes a second of a body come that is held.
-	slowBody = 32 << 10
+	minBodyBytesPerSecond = 32 << 10
 )
 
 // plainRoutes returns what becomes of the requests of each class.
-func (f *Front) plainRoutes() []Route {
-	rules := &upstream.Rules{Hold: plainHold, Patient: true, Idle: plainIdle, Deadline: "X-Expires-In-Ms", Own: true}
+func (f *Server) newClassRoutes() []Route {
+	rules := &upstream.Rules{Hold: classBodyBuffer, Patient: true, Idle: classIdleTimeout, Deadline: "X-Expires-In-Ms", Own: true}
 	for code := range rules.Failure {
 		rules.Failure[code] = code != http.StatusOK
 	}
-	ways := make([]Route, len(f.o.Site.Classes))
-	for i, name := range f.o.Site.Classes {
-		ways[i] = Route{Name: name, Pool: f.o.Pool, Safe: uint8(i), Other: uint8(i), Rules: rules, OtherRules: rules, BodyHold: plainHold, BodyMost: plainMost,
-			Whole: plainWhole, Key: Source{Kind: FromHeader, Name: "Idempotency-Key"}, Object: Source{Kind: FromHeader, Name: "X-Object"}}
+	routes := make([]Route, len(f.options.Site.Classes))
+	for i, name := range f.options.Site.Classes {
+		routes[i] = Route{Name: name, Pool: f.options.Pool, SafeClass: uint8(i), UnsafeClass: uint8(i), SafeRules: rules, UnsafeRules: rules, BufferBytes: classBodyBuffer, MaxBodyBytes: maxClassBody,
+			StreamTimeout: classStreamTimeout, IdempotencyKey: ValueSource{Kind: FromHeader, Name: "Idempotency-Key"}, Object: ValueSource{Kind: FromHeader, Name: "X-Object"}}
 	}
-	return ways
+	return routes
 }
 
 // plain serves a request by PROTOCOL, and says whether the connection may serve another.
-func (f *Front) plain(c *conn, q *http.Request) bool {
-	w := &answering{f: f, c: c, q: q, agent: "dunlinsail", last: q.Close || !q.ProtoAtLeast(1, 1), plain: true}
-	k, rt, out, framing, err := f.parse(c, q)
+func (f *Server) serveByClass(c *conn, q *http.Request) bool {
+	w := &exchange{server: f, conn: c, request: q, proxyName: "dunlinsail", closeAfter: q.Close || !q.ProtoAtLeast(1, 1), byClass: true}
+	k, rt, out, framing, err := f.parseClassRequest(c, q)
 	if err == nil {
-		err = w.hold(rt, out, framing)
+		err = w.bufferBody(rt, out, framing)
 	}
 	if err != nil {
-		c.turnAway(turnedAway(err))
+		c.reject(rejectionResponse(err))
 		if rt != nil {
-			f.counts.settle(rt.Safe, turnedAway(err).code)
+			f.outcomes.record(rt.SafeClass, rejectionResponse(err).status)
 		}
 		return false
 	}
-	return w.serve(rt, k, out, framing, "")
+	return w.forward(rt, k, out, framing, "")
 }
 
 // parse says what a request is, or what is wrong with it; rt is nil where not even its class is known.
-func (f *Front) parse(conn *conn, r *http.Request) (k *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
+func (f *Server) parseClassRequest(conn *conn, r *http.Request) (k *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
 	wrong := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, http1msg.Framing, error) {
-		return nil, rt, nil, framing, bad(code, format, args...)
+		return nil, rt, nil, framing, requestErrorf(code, format, args...)
 	}
 	if framing, err = http1msg.RequestFraming(r.Header); err != nil {
 		return nil, nil, nil, framing, err
@@ -82,11 +82,11 @@
 		}
 		uri = r.URL.RequestURI()
 	}
-	if !visible(host) && r.ProtoAtLeast(1, 1) {
+	if !isVisibleASCII(host) && r.ProtoAtLeast(1, 1) {
 		return wrong(http.StatusBadRequest, "Host makes no sense")
 	}
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "Idempotency-Key"} {
-		if v := r.Header[name]; len(v) > 0 && !visible(v[0]) { // that it stands once, message.CheckHead has seen
+		if v := r.Header[name]; len(v) > 0 && !isVisibleASCII(v[0]) { // that it stands once, message.CheckHead has seen
 			return wrong(http.StatusBadRequest, "%s makes no sense", name)
 		}
 	}
@@ -95,11 +95,11 @@
 	if name == "" {
 		name = first
 	}
-	class := slices.Index(f.o.Site.Classes, name)
+	class := slices.Index(f.options.Site.Classes, name)
 	if class < 0 {
 		return wrong(http.StatusNotFound, "unknown class %q", name)
 	}
-	rt = &f.ways[class]
+	rt = &f.classRoutes[class]
 	if name != first {
 		return wrong(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
 	}
@@ -107,7 +107,7 @@
 	if id == "" {
 		return wrong(http.StatusBadRequest, "X-Trace-Id is missing")
 	}
-	settings := &f.o.Site.Settings.Classes[class]
+	settings := &f.options.Site.Settings.Classes[class]
 	method := http.MethodPost
 	if settings.Idempotency == balancer.Idempotent {
 		method = http.MethodGet
@@ -129,13 +129,13 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	k = &core.Call{Client: conn.client.share, Pool: f.o.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
-		Tenant: f.tenantNamed(r.Header.Get("X-Customer")), IdempotencyKey: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
+	k = &core.Call{Client: conn.client.engineClient, Pool: f.options.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
+		Tenant: f.tenantIndex(r.Header.Get("X-Customer")), IdempotencyKey: objectKey(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
 		Deadline: left - siteconfig.ResponseMargin.Microseconds()}}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
 		k.Request.WorkHint, k.Request.HasWorkHint = hint, true
 	}
-	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.Rules}
+	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.SafeRules}
 	connection := r.Header["Connection"]
 	for k, v := range r.Header {
 		if !http1msg.IsHopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
@@ -147,13 +147,13 @@
 }
 
 // methods are what a request may begin with that follows another on its connection.
-var methods = [][]byte{[]byte("GET "), []byte("POST "), []byte("HEAD ")}
+var pipelinedMethods = [][]byte{[]byte("GET "), []byte("POST "), []byte("HEAD ")}
 
 // mayBegin says whether what has come behind a request can be the beginning of the next. Clients of PROTOCOL that send
 // more than their request's length tells have told it wrong: who did must not be served with what an endpoint makes of a
 // part.
-func mayBegin(b []byte) bool {
-	return slices.ContainsFunc(methods, func(m []byte) bool {
+func mayStartRequest(b []byte) bool {
+	return slices.ContainsFunc(pipelinedMethods, func(m []byte) bool {
 		n := min(len(b), len(m))
 		return bytes.Equal(b[:n], m[:n])
 	})
--- a/internal/frontend/http1/conns.go
+++ b/internal/frontend/http1/conns.go
@@ -23,68 +23,68 @@
 
 // Client is whose connections are bounded, and whose requests are shared out, together.
 type Client struct {
-	Name  string
-	share *engine.Client
-	owner *connlimit.Owner[*conn] // guarded by connections.mu
+	Name         string
+	engineClient *engine.Client
+	connOwner    *connlimit.Owner[*conn] // guarded by connections.mu
 }
 
 // Spec is what a client may do. A bound of 0 is no bound.
-type Spec struct {
+type ClientSettings struct {
 	fairqueue.ClientSpec
-	Connections int
-	Bytes       int64 // that its requests and their answers may hold
+	MaxConnections int
+	MaxBytes       int64 // that its requests and their answers may hold
 }
 
 // conn is a client's connection.
 type conn struct {
 	net.Conn
-	client *Client
-	in     *inlet
-	limit  io.LimitedReader // what may still be read for the present request, from in
-	r      *bufio.Reader    // nil while nothing is being read: a connection at rest holds no buffer
+	client    *Client
+	input     *peekableConn
+	readLimit io.LimitedReader // what may still be read for the present request, from in
+	buffer    *bufio.Reader    // nil while nothing is being read: a connection at rest holds no buffer
 
 	// Guarded by connections.mu.
-	place   *connlimit.Conn[*conn]
-	parked  bool // it waits for the first byte of a request
-	begun   bool // a request has begun to come that is not taken yet
-	called  bool // release has ended that wait; it is not over for it
-	offered int  // the release in which it was last offered to another process
+	entry           *connlimit.Conn[*conn]
+	awaitingRequest bool // it waits for the first byte of a request
+	requestStarted  bool // a request has begun to come that is not taken yet
+	interrupted     bool // release has ended that wait; it is not over for it
+	lastHandoff     int  // the release in which it was last offered to another process
 }
 
 // connections accepts clients' connections and bounds their number. This package does that itself, not
 // http.Server, since it must know what else waits on a connection behind a request, and which connection it can
 // best do without.
-type connections struct {
+type connManager struct {
 	clock clock.Clock
-	talk  func(*conn) // until the connection is to be closed
+	serve func(*conn) // until the connection is to be closed
 	log   *slog.Logger
 
-	mu      sync.Mutex
-	table   *connlimit.Table[*conn]
-	idle    *time.Timer // looks for what has rested too long
-	closing bool
-	talks   int             // connections that are being served
-	empty   []chan struct{} // to be closed once there are none
+	mu          sync.Mutex
+	table       *connlimit.Table[*conn]
+	expiryTimer *time.Timer // looks for what has rested too long
+	closing     bool
+	serving     int             // connections that are being served
+	drained     []chan struct{} // to be closed once there are none
 
-	detach   func(net.Conn) bool // takes connections at rest over; nil while none are handed over
-	releases int                 // how often that has begun
+	handoff  func(net.Conn) bool // takes connections at rest over; nil while none are handed over
+	handoffs int                 // how often that has begun
 }
 
-func newConnections(l connlimit.Limits, clk clock.Clock, talk func(*conn), log *slog.Logger) (*connections, error) {
-	k := &connections{clock: clk, talk: talk, log: log}
+func newConnManager(limits connlimit.Limits, clk clock.Clock, serve func(*conn), log *slog.Logger) (*connManager, error) {
+	k := &connManager{clock: clk, serve: serve, log: log}
 	var err error
-	if k.table, err = connlimit.New(l, k.rests); err != nil {
+	if k.table, err = connlimit.New(limits, k.isEvictable); err != nil {
 		return nil, err
 	}
-	k.idle = time.AfterFunc(time.Hour, k.expire)
+	k.expiryTimer = time.AfterFunc(time.Hour, k.closeExpired)
 	return k, nil
 }
 
 const (
-	acceptWaitLeast = 5 * time.Millisecond
-	acceptWaitMost  = time.Second
-	restWait        = 5 * time.Millisecond
-	restMost        = 100 * time.Millisecond // a full queue takes far less
+	minAcceptBackoff  = 5 * time.Millisecond
+	maxAcceptBackoff  = time.Second
+	queuePollTimeout  = 5 * time.Millisecond
+	maxQueueDrainTime = 100 * time.Millisecond // a full queue takes far less
 )
 
 // Identify tells whose connection one is. gone is called once the connection has ended; it may be nil. A
@@ -92,44 +92,44 @@
 type Identify func(net.Conn) (c *Client, gone func(), err error)
 
 // accept serves connections until ln is closed or its deadline passes.
-func (k *connections) accept(ln net.Listener, identify Identify) error {
-	wait := acceptWaitLeast
+func (k *connManager) accept(ln net.Listener, identify Identify) error {
+	backoff := minAcceptBackoff
 	for {
 		nc, err := ln.Accept()
 		switch {
 		case err == nil:
-			wait = acceptWaitLeast
+			backoff = minAcceptBackoff
 			k.add(nc, identify)
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			// No descriptor is left, perhaps: one that is not needed makes room.
-			if wait == acceptWaitLeast {
+			if backoff == minAcceptBackoff {
 				k.log.Warn("accept", "error", err)
 			}
 			k.mu.Lock()
 			k.closeLocked(k.table.Evictable())
 			k.mu.Unlock()
-			time.Sleep(wait)
-			wait = min(2*wait, acceptWaitMost)
+			time.Sleep(backoff)
+			backoff = min(2*backoff, maxAcceptBackoff)
 		}
 	}
 }
 
 // acceptRest serves the connections that wait in ln's queue, and returns once there is none: closing ln would reset them, with
 // what their clients have sent. Nobody else may accept meanwhile. Clients who come without end do not keep it going.
-func (k *connections) acceptRest(ln net.Listener, identify Identify) {
+func (k *connManager) acceptQueued(ln net.Listener, identify Identify) {
 	bounded, ok := ln.(interface{ SetDeadline(time.Time) error })
 	if !ok {
 		return
 	}
-	for end := time.Now().Add(restMost); time.Now().Before(end); {
-		_ = bounded.SetDeadline(time.Now().Add(restWait)) // what waits is taken without waiting
+	for end := time.Now().Add(maxQueueDrainTime); time.Now().Before(end); {
+		_ = bounded.SetDeadline(time.Now().Add(queuePollTimeout)) // what waits is taken without waiting
 		nc, err := ln.Accept()
 		switch {
 		case err == nil:
 			k.add(nc, identify)
-		case !errors.Is(err, os.ErrDeadlineExceeded) || !queued(ln):
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !hasQueued(ln):
 			return // else we did not come to it within the deadline
 		}
 	}
@@ -137,7 +137,7 @@
 }
 
 // queued says whether a connection waits to be accepted.
-func queued(ln net.Listener) bool {
+func hasQueued(ln net.Listener) bool {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return false
@@ -146,15 +146,15 @@
 	if err != nil {
 		return false
 	}
-	some := false
-	if err := raw.Control(func(fd uintptr) { some = polled(fd, pollIn) != 0 }); err != nil {
+	pending := false
+	if err := raw.Control(func(fd uintptr) { pending = pollEvents(fd, pollIn) != 0 }); err != nil {
 		return false // closed
 	}
-	return some
+	return pending
 }
 
 // add takes a connection in, if it may be.
-func (k *connections) add(nc net.Conn, identify Identify) {
+func (k *connManager) add(nc net.Conn, identify Identify) {
 	client, gone, err := identify(nc)
 	if err != nil {
 		k.log.Warn("connection turned away", "from", nc.RemoteAddr().String(), "error", err)
@@ -164,44 +164,44 @@
 	if gone == nil {
 		gone = func() {}
 	}
-	c := &conn{Conn: nc, client: client, in: newInlet(nc)}
-	c.limit.R = c.in
+	c := &conn{Conn: nc, client: client, input: newPeekableConn(nc)}
+	c.readLimit.R = c.input
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	place, spare := k.table.Add(k.clock.Now(), client.owner, c)
+	place, spare := k.table.Add(k.clock.Now(), client.connOwner, c)
 	k.closeLocked(spare)
 	if place == nil {
 		nc.Close() // all others are waiting for their answers
 		gone()
 		return
 	}
-	c.place = place
-	k.expireLocked()
-	k.talks++
+	c.entry = place
+	k.closeExpiredLocked()
+	k.serving++
 	go func() {
-		k.talk(c)
-		c.releaseReader()
+		k.serve(c)
+		c.releaseBuffer()
 		gone()
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.closeLocked(c.place)
-		if k.talks--; k.talks == 0 {
-			for _, ch := range k.empty {
+		k.closeLocked(c.entry)
+		if k.serving--; k.serving == 0 {
+			for _, ch := range k.drained {
 				close(ch)
 			}
-			k.empty = nil
+			k.drained = nil
 		}
 	}()
 }
 
 // wait waits until no connection is served, or ctx ends.
-func (k *connections) wait(ctx context.Context) error {
+func (k *connManager) waitDrained(ctx context.Context) error {
 	k.mu.Lock()
 	ch := make(chan struct{})
-	if k.talks == 0 {
+	if k.serving == 0 {
 		close(ch)
 	} else {
-		k.empty = append(k.empty, ch)
+		k.drained = append(k.drained, ch)
 	}
 	k.mu.Unlock()
 	select {
@@ -212,7 +212,7 @@
 	}
 }
 
-func (k *connections) closeLocked(place *connlimit.Conn[*conn]) {
+func (k *connManager) closeLocked(place *connlimit.Conn[*conn]) {
 	if place != nil {
 		k.table.Remove(place)
 		place.Value.Close()
@@ -220,19 +220,19 @@
 }
 
 // expire closes what has rested for too long.
-func (k *connections) expire() {
+func (k *connManager) closeExpired() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.expireLocked()
+	k.closeExpiredLocked()
 }
 
-func (k *connections) expireLocked() {
+func (k *connManager) closeExpiredLocked() {
 	now := k.clock.Now()
 	for {
 		c, next := k.table.RemoveExpired(now)
 		if c == nil {
 			if next > 0 {
-				k.idle.Reset(clock.Duration(next - now))
+				k.expiryTimer.Reset(clock.Duration(next - now))
 			}
 			return
 		}
@@ -241,34 +241,34 @@
 }
 
 // take notes that a connection has an open request, unless it has been closed meanwhile.
-func (k *connections) take(c *conn) bool {
+func (k *connManager) markBusy(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c.begun = false
-	return k.table.MarkBusy(c.place)
+	c.requestStarted = false
+	return k.table.MarkBusy(c.entry)
 }
 
 // hold notes that n bytes more are held for a connection, if its client may hold them; if they must be held, it
 // may not say no.
-func (k *connections) hold(c *conn, n int64, must bool) bool {
+func (k *connManager) reserveBytes(c *conn, n int64, force bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.ReserveBytes(c.place, n, must)
+	return k.table.ReserveBytes(c.entry, n, force)
 }
 
 // rest notes that a request has its answer, and says whether the connection may stay open. While all are to close it may for
 // a next request that has come, or begun to.
-func (k *connections) rest(c *conn) bool {
+func (k *connManager) finishRequest(c *conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c.in.rest(c.r != nil && c.r.Buffered() > 0)
-	k.closeLocked(k.table.MarkIdle(k.clock.Now(), c.place))
-	k.expireLocked()
-	return !k.closing || !c.in.empty()
+	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0)
+	k.closeLocked(k.table.MarkIdle(k.clock.Now(), c.entry))
+	k.closeExpiredLocked()
+	return !k.closing || !c.input.isDrained()
 }
 
 // cut closes all connections, those with open requests too.
-func (k *connections) cut() {
+func (k *connManager) closeAll() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
@@ -277,7 +277,7 @@
 
 // hush closes the connections without an open request; those with one, or of which a part has come, close once they have their
 // answers.
-func (k *connections) hush() {
+func (k *connManager) quiesce() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
@@ -287,11 +287,11 @@
 }
 
 // hushHalves closes the connections of whose request a part has come, and returns how many: it is not waited for any longer.
-func (k *connections) hushHalves() (n int) {
+func (k *connManager) closePartialRequests() (n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.table.Each(func(p *connlimit.Conn[*conn]) {
-		if c := p.Value; c.begun && c.in.empty() {
+		if c := p.Value; c.requestStarted && c.input.isDrained() {
 			k.closeLocked(p)
 			n++
 		}
@@ -302,7 +302,9 @@
 // rests says whether a connection can be closed without taking a request with it: nothing has come on it that has not been looked
 // at. One of whose request a part has come may have to make room for others, whose requests may be whole; but where all are to
 // close it does not for that alone: its client, who did not see it rest, would not send the request again.
-func (k *connections) rests(c *conn) bool { return c.in.empty() && !(k.closing && c.begun) }
+func (k *connManager) isEvictable(c *conn) bool {
+	return c.input.isDrained() && !(k.closing && c.requestStarted)
+}
 
 // ---- Handing connections over -----------------------------------------------
 //
@@ -311,120 +313,120 @@
 
 // release hands connections over as soon as they rest, from now on: to is called for each, and says whether it
 // has been taken; our own end of it is closed then. What is not taken goes on here. nil ends that.
-func (k *connections) release(to func(net.Conn) bool) {
+func (k *connManager) setHandoff(handoff func(net.Conn) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.releaseLocked(to)
+	k.setHandoffLocked(handoff)
 }
 
-func (k *connections) releaseLocked(to func(net.Conn) bool) {
-	k.detach = to
-	if to == nil {
+func (k *connManager) setHandoffLocked(handoff func(net.Conn) bool) {
+	k.handoff = handoff
+	if handoff == nil {
 		return
 	}
-	k.releases++
+	k.handoffs++
 	k.table.EachIdle(func(p *connlimit.Conn[*conn]) {
-		if c := p.Value; c.parked {
-			c.called = true
-			c.SetReadDeadline(past)
+		if c := p.Value; c.awaitingRequest {
+			c.interrupted = true
+			c.SetReadDeadline(expiredDeadline)
 		}
 	})
 }
 
 // park waits for the first byte of a request until a deadline, zero for as long as the connection may rest, and
 // says whether it has come. A connection that is handed over meanwhile is not used here any more.
-func (k *connections) park(c *conn, until time.Time) bool {
-	c.releaseReader()
-	if c.r != nil {
+func (k *connManager) awaitRequest(c *conn, deadline time.Time) bool {
+	c.releaseBuffer()
+	if c.buffer != nil {
 		k.mu.Lock()
-		c.begun = true
+		c.requestStarted = true
 		k.mu.Unlock()
 		return true // it has come already
 	}
 	for {
-		if to := k.parking(c, until); to != nil {
-			if to(c.Conn) {
+		if handoff := k.startAwait(c, deadline); handoff != nil {
+			if handoff(c.Conn) {
 				return false
 			}
 			continue
 		}
-		err := c.readable()
+		err := c.waitReadable()
 		k.mu.Lock()
 		// Whoever called may have been told meanwhile that nothing is to be handed over after all.
-		late := errors.Is(err, os.ErrDeadlineExceeded)
-		again := c.called && late
-		come := err == nil || late && !c.in.empty() // it has come as its time was up
-		c.parked, c.called, c.begun = false, false, come && !again
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		again := c.interrupted && timedOut
+		arrived := err == nil || timedOut && !c.input.isDrained() // it has come as its time was up
+		c.awaitingRequest, c.interrupted, c.requestStarted = false, false, arrived && !again
 		k.mu.Unlock()
 		if !again {
-			return come
+			return arrived
 		}
 	}
 }
 
 // parking notes that a connection waits, or returns what it is to be handed to first.
-func (k *connections) parking(c *conn, until time.Time) (to func(net.Conn) bool) {
+func (k *connManager) startAwait(c *conn, deadline time.Time) (handoff func(net.Conn) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.detach != nil && c.offered != k.releases {
-		c.offered = k.releases
+	if k.handoff != nil && c.lastHandoff != k.handoffs {
+		c.lastHandoff = k.handoffs
 		c.SetReadDeadline(time.Time{})
-		return k.detach
+		return k.handoff
 	}
-	c.parked = true
-	c.SetReadDeadline(until)
+	c.awaitingRequest = true
+	c.SetReadDeadline(deadline)
 	return nil
 }
 
 // ---- A connection ----------------------------------------------------------
 
 // past is a deadline that ends a read at once.
-var past = time.Unix(1, 0)
+var expiredDeadline = time.Unix(1, 0)
 
 // readers are the buffers of connections that are being read.
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readerSize) }}
+var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
-const readerSize = 4 << 10 // most heads are smaller
+const readBufferSize = 4 << 10 // most heads are smaller
 
 // reader returns the connection's buffer, a fresh one if it has none.
-func (c *conn) reader() *bufio.Reader {
-	if c.r == nil {
-		c.r = readers.Get().(*bufio.Reader)
-		c.r.Reset(&c.limit)
+func (c *conn) ensureBuffer() *bufio.Reader {
+	if c.buffer == nil {
+		c.buffer = readerPool.Get().(*bufio.Reader)
+		c.buffer.Reset(&c.readLimit)
 	}
-	return c.r
+	return c.buffer
 }
 
 // releaseReader gives the buffer back, if nothing is in it.
-func (c *conn) releaseReader() {
-	if c.r != nil && c.r.Buffered() == 0 {
-		c.r.Reset(nil) // it must not show one client's bytes to another, nor keep a connection alive
-		if c.r.Size() == readerSize {
-			readers.Put(c.r)
+func (c *conn) releaseBuffer() {
+	if c.buffer != nil && c.buffer.Buffered() == 0 {
+		c.buffer.Reset(nil) // it must not show one client's bytes to another, nor keep a connection alive
+		if c.buffer.Size() == readBufferSize {
+			readerPool.Put(c.buffer)
 		}
-		c.r = nil
+		c.buffer = nil
 	}
 }
 
 // readable waits until something can be read, or the connection has ended, without holding a buffer meanwhile.
-func (c *conn) readable() error {
-	if c.in.raw == nil {
-		_, err := c.reader().Peek(1) // not a socket
+func (c *conn) waitReadable() error {
+	if c.input.rawConn == nil {
+		_, err := c.ensureBuffer().Peek(1) // not a socket
 		return err
 	}
-	return c.in.readable()
+	return c.input.waitReadable()
 }
 
 const (
-	writeTime  = time.Second
-	lingerTime = 200 * time.Millisecond
-	lingerMost = 64 << 10
+	writeTimeout   = time.Second
+	lingerTimeout  = 200 * time.Millisecond
+	maxLingerBytes = 64 << 10
 )
 
 // turnAway answers what is not taken, and ends the connection's use. What the client may still be sending is
 // read for a little, since closing on unread bytes would take the answer away from it again.
-func (c *conn) turnAway(r *response) {
-	c.write(r, true)
+func (c *conn) reject(r *localResponse) {
+	c.writeResponse(r, true)
 	c.linger()
 }
 
@@ -434,23 +436,23 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // it may be closed already
 	}
-	c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerMost) // until its end, or the deadline
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // until its end, or the deadline
 }
 
 // response is a final answer as it goes to the client.
-type response struct {
-	code   int
+type localResponse struct {
+	status int
 	header http.Header
 	body   []byte
 }
 
-func newResponse(code int, text string) *response {
-	return &response{code: code, header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, body: []byte(text + "\n")}
+func newLocalResponse(status int, text string) *localResponse {
+	return &localResponse{status: status, header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, body: []byte(text + "\n")}
 }
 
 // retryAfter advises the client to come back after a time, if there is any advice.
-func (r *response) retryAfter(d time.Duration) *response {
+func (r *localResponse) setRetryAfter(d time.Duration) *localResponse {
 	if d > 0 {
 		r.header.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
@@ -458,18 +460,18 @@
 }
 
 // write writes a whole answer in one piece, and says whether that went well.
-func (c *conn) write(r *response, last bool) bool {
+func (c *conn) writeResponse(r *localResponse, closeAfter bool) bool {
 	var b bytes.Buffer
 	b.Grow(256 + len(r.body))
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.code) + " " + http.StatusText(r.code) + "\r\n")
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.status) + " " + http.StatusText(r.status) + "\r\n")
 	_ = r.header.Write(&b) // writing to memory does not fail
 	b.WriteString("Content-Length: " + strconv.Itoa(len(r.body)) + "\r\n")
-	if last {
+	if closeAfter {
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.body)
-	c.SetWriteDeadline(time.Now().Add(writeTime))
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.Write(b.Bytes())
 	return err == nil
 }
--- a/internal/frontend/http1/conns_test.go
+++ b/internal/frontend/http1/conns_test.go
@@ -14,11 +14,11 @@
 // A connection at rest that is called to be handed over stays open if that is taken back before it could go.
 func TestHandingOverTakenBackAtOnce(t *testing.T) {
 	said := make(chan byte, 1)
-	var k *connections
-	k, err := newConnections(connlimit.Limits{MaxConnections: 2, MaxIdle: 2, MaxIdleTime: 1e9}, clock.New(), func(c *conn) {
+	var k *connManager
+	k, err := newConnManager(connlimit.Limits{MaxConnections: 2, MaxIdle: 2, MaxIdleTime: 1e9}, clock.New(), func(c *conn) {
 		for {
 			var b [1]byte // as exchange does, the deadline that ended the wait is replaced
-			if !k.park(c, time.Time{}) {
+			if !k.awaitRequest(c, time.Time{}) {
 				close(said)
 				return
 			}
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	owner := &Client{owner: k.table.NewOwner(1, 2, 0)}
+	owner := &Client{connOwner: k.table.NewOwner(1, 2, 0)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -58,15 +58,15 @@
 			defer k.mu.Unlock()
 			n := 0
 			k.table.EachIdle(func(p *connlimit.Conn[*conn]) {
-				if p.Value.parked {
+				if p.Value.awaitingRequest {
 					n++
 				}
 			})
 			return n == 1
 		})
 		k.mu.Lock() // whatever the connection does, it does after both
-		k.releaseLocked(func(net.Conn) bool { t.Error("handed over"); return true })
-		k.releaseLocked(nil)
+		k.setHandoffLocked(func(net.Conn) bool { t.Error("handed over"); return true })
+		k.setHandoffLocked(nil)
 		k.mu.Unlock()
 	}
 	io.WriteString(client, "z")
@@ -91,23 +91,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			step, over := make(chan *conn, 2), make(chan struct{})
-			k, err := newConnections(connlimit.Limits{MaxConnections: 4, MaxIdle: 1, MaxIdleTime: 1e9, MinIdleTime: 1e9}, clock.New(), func(c *conn) {
+			k, err := newConnManager(connlimit.Limits{MaxConnections: 4, MaxIdle: 1, MaxIdleTime: 1e9, MinIdleTime: 1e9}, clock.New(), func(c *conn) {
 				if tc.read {
 					b := make([]byte, 100)
-					if _, err := c.in.Read(b); err != nil {
+					if _, err := c.input.Read(b); err != nil {
 						return // the second connection, at the end
 					}
 				}
 				step <- c
 				if tc.again {
-					_, _ = c.in.Read(make([]byte, 1)) // until the client has gone
+					_, _ = c.input.Read(make([]byte, 1)) // until the client has gone
 				}
 				<-over
 			}, scriptedpeer.Quiet)
 			if err != nil {
 				t.Fatal(err)
 			}
-			owner := &Client{owner: k.table.NewOwner(1, 4, 0)}
+			owner := &Client{connOwner: k.table.NewOwner(1, 4, 0)}
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -133,13 +133,13 @@
 			c := scriptedpeer.Within(t, step, "the server's look")
 			switch {
 			case tc.again: // until it waits for more
-				scriptedpeer.Eventually(t, "the server's second look", c.in.empty)
+				scriptedpeer.Eventually(t, "the server's second look", c.input.isDrained)
 			case tc.before != "" && !tc.read:
-				scriptedpeer.Eventually(t, "bytes in the kernel", func() bool { return !c.in.empty() })
+				scriptedpeer.Eventually(t, "bytes in the kernel", func() bool { return !c.input.isDrained() })
 			}
 			defer enter().Close()
 			k.mu.Lock()
-			closed := !k.table.MarkBusy(c.place)
+			closed := !k.table.MarkBusy(c.entry)
 			k.mu.Unlock()
 			if closed == tc.stays {
 				t.Errorf("closed: %v", closed)
@@ -166,23 +166,23 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	f := &Front{o: Options{Clock: clock.New()}}
-	c := &conn{Conn: server, in: newInlet(server)}
-	if f.closes(c) {
+	f := &Server{options: Options{Clock: clock.New()}}
+	c := &conn{Conn: server, input: newPeekableConn(server)}
+	if f.isLastResponse(c) {
 		t.Error("closes while nothing is to")
 	}
 	f.closing.Store(true)
 	io.WriteString(client, "request")
-	if _, err := c.in.Read(make([]byte, 7)); err != nil {
+	if _, err := c.input.Read(make([]byte, 7)); err != nil {
 		t.Fatal(err)
 	}
-	if !f.closes(c) {
+	if !f.isLastResponse(c) {
 		t.Error("the request itself was taken for a next one")
 	}
 	io.WriteString(client, "next")
-	scriptedpeer.Eventually(t, "the next has come", func() bool { return !f.closes(c) })
-	f.endBy.Store(f.o.Clock.Now())
-	if !f.closes(c) {
+	scriptedpeer.Eventually(t, "the next has come", func() bool { return !f.isLastResponse(c) })
+	f.responseDeadline.Store(f.options.Clock.Now())
+	if !f.isLastResponse(c) {
 		t.Error("a next one is waited for when there is no time left")
 	}
 }
--- a/internal/frontend/http1/head.go
+++ b/internal/frontend/http1/head.go
@@ -11,15 +11,15 @@
 
 // request reads a request's head, strictly. also are fields that must be single and end to end beside those that
 // always must. Its error is a *message.Error where the head makes no sense.
-func (c *conn) request(also map[string]bool) (*http.Request, error) {
-	head, err := c.head()
+func (c *conn) readRequest(singletons map[string]bool) (*http.Request, error) {
+	head, err := c.readHead()
 	if err != nil {
 		return nil, err
 	}
-	if err := http1msg.CheckHead(head, also); err != nil {
+	if err := http1msg.CheckHead(head, singletons); err != nil {
 		return nil, err
 	}
-	r, err := http.ReadRequest(c.r)
+	r, err := http.ReadRequest(c.buffer)
 	if err == nil && len(r.TransferEncoding) > 0 {
 		r.Header["Transfer-Encoding"] = r.TransferEncoding // where package http1msg looks for it
 	}
@@ -28,8 +28,8 @@
 
 // head waits for a request's head and returns it, up to and with its empty line, without taking it from the
 // connection's buffer.
-func (c *conn) head() ([]byte, error) {
-	r := c.reader()
+func (c *conn) readHead() ([]byte, error) {
+	r := c.ensureBuffer()
 	seen := 0
 	for {
 		b, _ := r.Peek(r.Buffered())
@@ -38,7 +38,7 @@
 			return b[:n], err
 		}
 		if seen = next; len(b) == r.Size() {
-			r = c.enlarge()
+			r = c.enlargeBuffer()
 		}
 		if _, err := r.Peek(len(b) + 1); err != nil && r.Buffered() <= len(b) {
 			if err == io.EOF && len(b) > 0 {
@@ -50,14 +50,14 @@
 }
 
 // enlarge gives the connection a buffer that holds the largest head. It lasts until the connection rests.
-func (c *conn) enlarge() *bufio.Reader {
-	b, _ := c.r.Peek(c.r.Buffered())
-	begun := bytes.NewReader(bytes.Clone(b))
-	if c.r.Size() == readerSize {
-		c.r.Reset(nil)
-		readers.Put(c.r)
+func (c *conn) enlargeBuffer() *bufio.Reader {
+	b, _ := c.buffer.Peek(c.buffer.Buffered())
+	received := bytes.NewReader(bytes.Clone(b))
+	if c.buffer.Size() == readBufferSize {
+		c.buffer.Reset(nil)
+		readerPool.Put(c.buffer)
 	}
-	c.r = bufio.NewReaderSize(io.MultiReader(begun, &c.limit), HeaderMost)
-	_, _ = c.r.Peek(begun.Len()) // it is all there
-	return c.r
+	c.buffer = bufio.NewReaderSize(io.MultiReader(received, &c.readLimit), MaxHeaderBytes)
+	_, _ = c.buffer.Peek(received.Len()) // it is all there
+	return c.buffer
 }
--- a/internal/frontend/http1/head_test.go
+++ b/internal/frontend/http1/head_test.go
@@ -15,7 +15,7 @@
 // reading returns a connection on which some bytes come, and nothing after them.
 func reading(r io.Reader) *conn {
 	c := &conn{}
-	c.limit.R, c.limit.N = r, HeaderMost
+	c.readLimit.R, c.readLimit.N = r, MaxHeaderBytes
 	return c
 }
 
@@ -24,7 +24,7 @@
 	"POST /a?b=c HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nX-A:\tb \r\n\r\nxxGET",
 	"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
-	"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", 2*readerSize) + "\r\n\r\n",
+	"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", 2*readBufferSize) + "\r\n\r\n",
 	"GET / HTTP/1.1\r\nHost: a\r\n b: c\r\n\r\n",
 	"GET / HTTP/1.1\r\nHost : a\r\n\r\n",
 	"GET / HTTP/1.1\nHost: a\n\n",
@@ -45,9 +45,9 @@
 		f.Add([]byte(h))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r, err := reading(bytes.NewReader(text)).request(nil)
-		slow, slowErr := reading(iotest.OneByteReader(bytes.NewReader(text))).request(nil)
-		if (err == nil) != (slowErr == nil) || err != nil && len(text) < HeaderMost && err.Error() != slowErr.Error() {
+		r, err := reading(bytes.NewReader(text)).readRequest(nil)
+		slow, slowErr := reading(iotest.OneByteReader(bytes.NewReader(text))).readRequest(nil)
+		if (err == nil) != (slowErr == nil) || err != nil && len(text) < MaxHeaderBytes && err.Error() != slowErr.Error() {
 			t.Fatalf("%q: %v at once, %v byte by byte", text, err, slowErr)
 		}
 		if err != nil {
@@ -76,25 +76,25 @@
 
 // A head of whatever size leaves the buffers as they were.
 func TestLargeHeads(t *testing.T) {
-	for _, size := range []int{1, readerSize - 1, readerSize, readerSize + 1, HeaderMost - 100, HeaderMost - 40, HeaderMost} {
+	for _, size := range []int{1, readBufferSize - 1, readBufferSize, readBufferSize + 1, MaxHeaderBytes - 100, MaxHeaderBytes - 40, MaxHeaderBytes} {
 		text := "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", size) + "\r\n\r\n"
 		c := reading(strings.NewReader(text))
-		r, err := c.request(nil)
-		if len(text) > HeaderMost {
-			if err == nil || c.limit.N > 0 {
-				t.Errorf("%d bytes: %v, want an end at %d", len(text), err, HeaderMost)
+		r, err := c.readRequest(nil)
+		if len(text) > MaxHeaderBytes {
+			if err == nil || c.readLimit.N > 0 {
+				t.Errorf("%d bytes: %v, want an end at %d", len(text), err, MaxHeaderBytes)
 			}
 			continue
 		}
 		if err != nil || len(r.Header.Get("X")) != size {
 			t.Errorf("%d bytes: %v", len(text), err)
 		}
-		c.releaseReader()
-		if c.r != nil {
+		c.releaseBuffer()
+		if c.buffer != nil {
 			t.Errorf("%d bytes: the buffer is kept", len(text))
 		}
 	}
-	if _, err := reading(strings.NewReader(strings.Repeat("x", 10))).request(nil); !errors.Is(err, io.ErrUnexpectedEOF) {
+	if _, err := reading(strings.NewReader(strings.Repeat("x", 10))).readRequest(nil); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("half a head: %v", err)
 	}
 }
--- a/internal/frontend/http1/figures.go
+++ b/internal/frontend/http1/outcomes.go
@@ -6,38 +6,40 @@
 )
 
 // Counts are how requests of one class ended for their clients.
-type Counts struct{ Fulfilled, Throttled, Faulted uint64 }
+type OutcomeCounts struct{ Fulfilled, Throttled, Faulted uint64 }
 
 // counts counts them; every request that has its final answer comes by settle, once.
-type counts struct {
+type outcomeCounter struct {
 	mu      sync.Mutex
-	classes []Counts
+	classes []OutcomeCounts
 }
 
-func newCounts(classes int) counts { return counts{classes: make([]Counts, classes)} }
+func newOutcomeCounter(classes int) outcomeCounter {
+	return outcomeCounter{classes: make([]OutcomeCounts, classes)}
+}
 
 // settle counts a final answer by the status that its client was told, 0 for none: its client had left.
-func (k *counts) settle(class uint8, status int) {
+func (k *outcomeCounter) record(class uint8, status int) {
 	if status == 0 || int(class) >= len(k.classes) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	switch to := &k.classes[class]; {
+	switch counts := &k.classes[class]; {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		to.Throttled++
+		counts.Throttled++
 	case status >= 200 && status < 400:
-		to.Fulfilled++
+		counts.Fulfilled++
 	default:
-		to.Faulted++
+		counts.Faulted++
 	}
 }
 
 // Figures returns how requests ended since the start, by class as in the settings, and how many are open now.
-func (f *Front) Figures() (classes []Counts, open int) {
-	f.counts.mu.Lock()
-	classes = append(classes, f.counts.classes...)
-	f.counts.mu.Unlock()
-	_, open = f.Conns()
+func (f *Server) RequestStats() (classes []OutcomeCounts, open int) {
+	f.outcomes.mu.Lock()
+	classes = append(classes, f.outcomes.classes...)
+	f.outcomes.mu.Unlock()
+	_, open = f.ConnectionCounts()
 	return classes, open
 }
--- a/internal/frontend/http1/poll.go
+++ b/internal/frontend/http1/pollevents.go
@@ -12,14 +12,14 @@
 )
 
 // polled says, without waiting, which of some events a descriptor has; none where it cannot be asked.
-func polled(fd uintptr, events int16) int16 {
-	of := struct {
+func pollEvents(fd uintptr, events int16) int16 {
+	pollFD := struct {
 		fd              int32
 		events, revents int16
 	}{fd: int32(fd), events: events}
-	var now syscall.Timespec
-	if n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&of)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0); errno != 0 || n == 0 {
+	var timeout syscall.Timespec
+	if n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&pollFD)), 1, uintptr(unsafe.Pointer(&timeout)), 0, 0, 0); errno != 0 || n == 0 {
 		return 0
 	}
-	return of.revents & events
+	return pollFD.revents & events
 }
--- a/internal/frontend/http1/http1.go
+++ b/internal/frontend/http1/server.go
@@ -29,13 +29,13 @@
 )
 
 // heldRetryAfter is advised to a client that has as many bytes held as it may: an answer or two take that long.
-const heldRetryAfter = 100 * time.Millisecond
+const byteLimitRetryAfter = 100 * time.Millisecond
 
 // HeaderMost is the most bytes that a request's head may have, and RequestTime how long a head may take to arrive whole, from
 // its first byte or the connection's beginning: clients may take 2 s (DAYS), and their last bytes travel for a while.
 const (
-	HeaderMost  = 16 << 10
-	RequestTime = 2500 * time.Millisecond
+	MaxHeaderBytes = 16 << 10
+	RequestTimeout = 2500 * time.Millisecond
 )
 
 // Options are what a Front needs.
@@ -49,240 +49,242 @@
 	Pool *core.Pool // to which all requests go, without routes
 
 	// SendWhole makes an attempt at an endpoint (upstream.Pool.SendWhole).
-	SendWhole func(ctx context.Context, t *core.AttemptContext, q *upstream.Request) engine.AttemptResult
+	SendAttempt func(ctx context.Context, t *core.AttemptContext, q *upstream.Request) engine.AttemptResult
 
 	// Record is told of each request that was taken, once it is over, from many goroutines; it must not wait. nil is
 	// nobody.
-	Record func(x *Exchange)
+	RecordExchange func(x *ExchangeRecord)
 }
 
 // Front takes clients' requests and gives their answers.
-type Front struct {
-	o       Options
-	conns   *connections
-	closing atomic.Bool
-	endBy   atomic.Int64           // requests have their answers by this instant; 0 is by their own only
-	routes  atomic.Pointer[Routes] // nil is PROTOCOL
-	counts  counts
-	ways    []Route // of PROTOCOL's requests, by class
+type Server struct {
+	options          Options
+	conns            *connManager
+	closing          atomic.Bool
+	responseDeadline atomic.Int64           // requests have their answers by this instant; 0 is by their own only
+	routes           atomic.Pointer[Routes] // nil is PROTOCOL
+	outcomes         outcomeCounter
+	classRoutes      []Route // of PROTOCOL's requests, by class
 }
 
 // New returns a front, or the error of limits that make no sense.
-func New(o Options) (*Front, error) {
-	f := &Front{o: o, counts: newCounts(len(o.Site.Classes))}
-	f.ways = f.plainRoutes()
+func New(o Options) (*Server, error) {
+	f := &Server{options: o, outcomes: newOutcomeCounter(len(o.Site.Classes))}
+	f.classRoutes = f.newClassRoutes()
 	var err error
-	f.conns, err = newConnections(o.Limits, o.Clock, f.talk, o.Log)
+	f.conns, err = newConnManager(o.Limits, o.Clock, f.serveConn, o.Log)
 	return f, err
 }
 
 // NewClient returns a client of the front, or the error of a spec that makes no sense.
-func (f *Front) NewClient(s Spec) (*Client, error) {
-	share, err := engine.NewClient(s.ClientSpec)
+func (f *Server) NewClient(settings ClientSettings) (*Client, error) {
+	share, err := engine.NewClient(settings.ClientSpec)
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{Name: s.Name, share: share}
+	c := &Client{Name: settings.Name, engineClient: share}
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	c.owner = f.conns.table.NewOwner(s.Weight, f.most(s), s.Bytes)
+	c.connOwner = f.conns.table.NewOwner(settings.Weight, f.maxConnections(settings), settings.MaxBytes)
 	return c, nil
 }
 
 // ChangeClient gives a client another spec; what it has open stays open.
-func (f *Front) ChangeClient(c *Client, s Spec) error {
-	if err := f.o.Core.SetClientSpec(c.share, s.ClientSpec); err != nil {
+func (f *Server) UpdateClient(c *Client, settings ClientSettings) error {
+	if err := f.options.Core.SetClientSpec(c.engineClient, settings.ClientSpec); err != nil {
 		return err
 	}
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	f.conns.table.UpdateOwner(c.owner, s.Weight, f.most(s), s.Bytes)
+	f.conns.table.UpdateOwner(c.connOwner, settings.Weight, f.maxConnections(settings), settings.MaxBytes)
 	return nil
 }
 
-func (f *Front) most(s Spec) int {
-	if s.Connections > 0 {
-		return s.Connections
+func (f *Server) maxConnections(settings ClientSettings) int {
+	if settings.MaxConnections > 0 {
+		return settings.MaxConnections
 	}
-	return f.o.Limits.MaxConnections
+	return f.options.Limits.MaxConnections
 }
 
 // Held returns how many connections a client has, how many of them have an open request, and how many bytes are
 // held for it.
-func (f *Front) Held(c *Client) (all, busy int, bytes int64) {
+func (f *Server) ClientUsage(c *Client) (all, busy int, bytes int64) {
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
-	all, busy = c.owner.Connections()
-	return all, busy, c.owner.ReservedBytes()
+	all, busy = c.connOwner.Connections()
+	return all, busy, c.connOwner.ReservedBytes()
 }
 
 // Conns returns how many connections there are, and how many of them have an open request.
-func (f *Front) Conns() (all, busy int) {
+func (f *Server) ConnectionCounts() (all, busy int) {
 	f.conns.mu.Lock()
 	defer f.conns.mu.Unlock()
 	return f.conns.table.Counts()
 }
 
 // Accept serves connections until ln is closed, or until a deadline that was set on it.
-func (f *Front) Accept(ln net.Listener, identify Identify) error { return f.conns.accept(ln, identify) }
+func (f *Server) Accept(ln net.Listener, identify Identify) error {
+	return f.conns.accept(ln, identify)
+}
 
 // AcceptRest serves the connections that wait in ln's queue; Accept must have ended. What comes after it returns waits on.
-func (f *Front) AcceptRest(ln net.Listener, identify Identify) { f.conns.acceptRest(ln, identify) }
+func (f *Server) AcceptQueued(ln net.Listener, identify Identify) { f.conns.acceptQueued(ln, identify) }
 
 // Adopt serves a connection that another process has handed over.
-func (f *Front) Adopt(nc net.Conn, identify Identify) { f.conns.add(nc, identify) }
+func (f *Server) Adopt(nc net.Conn, identify Identify) { f.conns.add(nc, identify) }
 
 // Release hands connections over as soon as they rest, from now on: to is called for each, from many goroutines,
 // and says whether it has been taken; our own end of it is closed then. What is not taken goes on here. nil ends
 // that.
-func (f *Front) Release(to func(net.Conn) bool) { f.conns.release(to) }
+func (f *Server) SetHandoff(handoff func(net.Conn) bool) { f.conns.setHandoff(handoff) }
 
 // Quiesce has each answer from now on close its connection, and closes the connections without an open request.
 // It may be called again, for those that have come meanwhile.
-func (f *Front) Quiesce() {
+func (f *Server) Quiesce() {
 	f.closing.Store(true)
-	f.conns.hush()
+	f.conns.quiesce()
 }
 
 // GiveUpHalves closes the connections of whose request only a part has come, and returns how many.
-func (f *Front) GiveUpHalves() int { return f.conns.hushHalves() }
+func (f *Server) ClosePartialRequests() int { return f.conns.closePartialRequests() }
 
 // EndBy has each request that is taken from now on answered by an instant: the process ends then, whatever is open.
-func (f *Front) EndBy(at monotime.Micros) { f.endBy.Store(at) }
+func (f *Server) SetResponseDeadline(deadline monotime.Micros) { f.responseDeadline.Store(deadline) }
 
 // closes says whether an answer that is to be written now is the last on its connection. While all are to close, those whose
 // client has sent a next request, or begun to, are answered once more, as long as there is time for it: what came whole
 // must not be lost.
-func (f *Front) closes(c *conn) bool {
+func (f *Server) isLastResponse(c *conn) bool {
 	if !f.closing.Load() {
 		return false
 	}
-	by := f.endBy.Load()
-	c.in.rest(c.r != nil && c.r.Buffered() > 0) // what was read of the present request is no next one
-	return c.in.empty() || by > 0 && f.o.Clock.Now() >= by
+	deadline := f.responseDeadline.Load()
+	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0) // what was read of the present request is no next one
+	return c.input.isDrained() || deadline > 0 && f.options.Clock.Now() >= deadline
 }
 
 // Wait waits until no connection is served, or ctx ends.
-func (f *Front) Wait(ctx context.Context) error { return f.conns.wait(ctx) }
+func (f *Server) WaitDrained(ctx context.Context) error { return f.conns.waitDrained(ctx) }
 
 // Cut closes all connections, those with open requests too.
-func (f *Front) Cut() {
+func (f *Server) CloseAll() {
 	f.closing.Store(true)
-	f.conns.cut()
+	f.conns.closeAll()
 }
 
 // talk serves a connection, one request at a time.
-func (f *Front) talk(c *conn) {
-	until := time.Now().Add(RequestTime)
-	for f.conns.park(c, until) {
-		if !until.IsZero() && !time.Now().Before(until) {
-			until = time.Time{} // its first byte came in time
+func (f *Server) serveConn(c *conn) {
+	deadline := time.Now().Add(RequestTimeout)
+	for f.conns.awaitRequest(c, deadline) {
+		if !deadline.IsZero() && !time.Now().Before(deadline) {
+			deadline = time.Time{} // its first byte came in time
 		}
-		if !f.exchange(c, until) {
+		if !f.serveRequest(c, deadline) {
 			break
 		}
-		until = time.Time{}
+		deadline = time.Time{}
 	}
-	if f.closing.Load() && !c.in.empty() {
+	if f.closing.Load() && !c.input.isDrained() {
 		c.linger() // more came as the last answer went
 	}
 }
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
 // gives its answer. It says whether the connection may serve another.
-func (f *Front) exchange(c *conn, until time.Time) bool {
-	c.limit.N = HeaderMost
-	if until.IsZero() {
-		until = time.Now().Add(RequestTime)
+func (f *Server) serveRequest(c *conn, deadline time.Time) bool {
+	c.readLimit.N = MaxHeaderBytes
+	if deadline.IsZero() {
+		deadline = time.Now().Add(RequestTimeout)
 	}
-	if by := f.endBy.Load(); by > 0 { // a request that is not whole by then has no time left
-		if at := time.Now().Add(clock.Duration(by - f.o.Clock.Now())); at.Before(until) {
-			until = at
+	if by := f.responseDeadline.Load(); by > 0 { // a request that is not whole by then has no time left
+		if at := time.Now().Add(clock.Duration(by - f.options.Clock.Now())); at.Before(deadline) {
+			deadline = at
 		}
 	}
-	c.SetReadDeadline(until)
+	c.SetReadDeadline(deadline)
 	routes := f.routes.Load()
-	var also map[string]bool
+	var singletons map[string]bool
 	if routes != nil {
-		also = routes.Decisive
+		singletons = routes.SingletonHeaders
 	}
-	r, err := c.request(also)
+	req, err := c.readRequest(singletons)
 	if err != nil {
-		if a := f.unreadable(c, err); a != nil {
-			c.turnAway(a)
+		if response := f.unreadableResponse(c, err); response != nil {
+			c.reject(response)
 		}
 		return false
 	}
-	if r.URL.Path == "/-/ready" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		a := newResponse(http.StatusOK, "ready")
-		if f.closing.Load() || !f.o.Core.Ready() {
-			a = newResponse(http.StatusServiceUnavailable, "not ready")
+	if req.URL.Path == "/-/ready" && req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
+		response := newLocalResponse(http.StatusOK, "ready")
+		if f.closing.Load() || !f.options.Core.Ready() {
+			response = newLocalResponse(http.StatusServiceUnavailable, "not ready")
 		}
-		last := r.Close || f.closes(c)
-		return f.conns.take(c) && c.write(a, last) && f.conns.rest(c) && !last
+		closeAfter := req.Close || f.isLastResponse(c)
+		return f.conns.markBusy(c) && c.writeResponse(response, closeAfter) && f.conns.finishRequest(c) && !closeAfter
 	}
 	if routes != nil {
-		return f.routed(c, r, routes)
+		return f.serveByRoute(c, req, routes)
 	}
-	return f.plain(c, r)
+	return f.serveByClass(c, req)
 }
 
-const surplus = "more was sent than the request's length tells"
+const surplusBytes = "more was sent than the request's length tells"
 
 // unreadable returns the answer to what is no request, nil if the client has sent nothing or has gone.
-func (f *Front) unreadable(c *conn, err error) *response {
+func (f *Server) unreadableResponse(c *conn, err error) *localResponse {
 	var timeout net.Error
 	code := http.StatusBadRequest
 	switch {
 	case errors.As(err, new(*http1msg.HeadError)):
-		return turnedAway(err)
+		return rejectionResponse(err)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		if c.limit.N == HeaderMost && (c.r == nil || c.r.Buffered() == 0) {
+		if c.readLimit.N == MaxHeaderBytes && (c.buffer == nil || c.buffer.Buffered() == 0) {
 			return nil
 		}
 		code = http.StatusRequestTimeout
-	case c.limit.N <= 0:
+	case c.readLimit.N <= 0:
 		code = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, syscall.ECONNRESET):
 		return nil
 	}
-	return newResponse(code, http.StatusText(code))
+	return newLocalResponse(code, http.StatusText(code))
 }
 
 // turnedAway returns the answer to a request that is not taken.
-func turnedAway(err error) *response {
-	a := newResponse(http.StatusBadRequest, err.Error())
-	if bad := (*badRequest)(nil); errors.As(err, &bad) {
-		a.code = bad.code
-		a.retryAfter(bad.retryAfter)
+func rejectionResponse(err error) *localResponse {
+	response := newLocalResponse(http.StatusBadRequest, err.Error())
+	if bad := (*requestError)(nil); errors.As(err, &bad) {
+		response.status = bad.status
+		response.setRetryAfter(bad.retryAfter)
 	}
 	if bad := (*http1msg.HeadError)(nil); errors.As(err, &bad) {
-		a.code = bad.Status
+		response.status = bad.Status
 	}
-	return a
+	return response
 }
 
 // badRequest says why a request is not taken.
-type badRequest struct {
-	code       int
+type requestError struct {
+	status     int
 	reason     string
 	retryAfter time.Duration
-	status     string // the type of error in Proxy-Status; "" is http_request_error
+	proxyError string // the type of error in Proxy-Status; "" is http_request_error
 }
 
-func (e *badRequest) Error() string { return e.reason }
+func (e *requestError) Error() string { return e.reason }
 
-func bad(code int, format string, args ...any) error {
-	return &badRequest{code: code, reason: fmt.Sprintf(format, args...)}
+func requestErrorf(status int, format string, args ...any) error {
+	return &requestError{status: status, reason: fmt.Sprintf(format, args...)}
 }
 
 // visible says whether a header's value is plain text of some length.
-func visible(v string) bool {
+func isVisibleASCII(v string) bool {
 	return v != "" && !strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
 }
 
 // key turns what a request is about into a number; 0 is none.
-func key(object string) uint64 {
+func objectKey(object string) uint64 {
 	if object == "" {
 		return 0
 	}
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -282,7 +282,7 @@
 	}
 	scriptedpeer.Eventually(t, "all places are free", func() bool {
 		counts := s.parts.endpoints.Counts()
-		all, _ := s.parts.front.Conns()
+		all, _ := s.parts.front.ConnectionCounts()
 		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
 	close(h.release)
@@ -310,7 +310,7 @@
 		io.WriteString(c, sent(t, request("POST", "/pay", "pay", 900, "2")))
 	}
 	c.Close()
-	scriptedpeer.Eventually(t, "nobody is served", func() bool { all, _ := s.parts.front.Conns(); return all == 0 })
+	scriptedpeer.Eventually(t, "nobody is served", func() bool { all, _ := s.parts.front.ConnectionCounts(); return all == 0 })
 	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 50, "3")); resp.StatusCode == 200 {
 		t.Errorf("answered %s", resp.Status)
 	}
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -122,7 +122,7 @@
 	clients.Wait()
 	scriptedpeer.Eventually(t, "nothing is left", func() bool {
 		counts := s.parts.endpoints.Counts()
-		all, _ := s.parts.front.Conns()
+		all, _ := s.parts.front.ConnectionCounts()
 		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
 	var last sync.WaitGroup
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -103,7 +103,7 @@
 	for _, conn := range l.earlyConns {
 		conn.Close()
 	}
-	l.sidecar.front.Cut() // nothing is left, unless the start failed
+	l.sidecar.front.CloseAll() // nothing is left, unless the start failed
 	l.Loop.Goroutines.Wait()
 }
 
@@ -151,9 +151,9 @@
 	log := l.sidecar.log
 	left := min(maxDeadline, longestDeadline(l.sidecar.config)) + deadlineMargin
 	log.Info("stop requested", "while", l.Predecessor.String(), "all answered within", left)
-	l.sidecar.front.EndBy(l.sidecar.clock.Now() + clock.Micros(left))
+	l.sidecar.front.SetResponseDeadline(l.sidecar.clock.Now() + clock.Micros(left))
 	l.Loop.After(left, func() {
-		if n := l.sidecar.front.GiveUpHalves(); n > 0 {
+		if n := l.sidecar.front.ClosePartialRequests(); n > 0 {
 			log.Warn("incomplete requests closed", "connections", n)
 		}
 	})
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,11 +10,11 @@
 
 // metrics returns the metrics of one moment, a line each.
 func (s *sidecar) metrics(ctx context.Context) ([]byte, error) {
-	var classes []http1.Counts
+	var classes []http1.OutcomeCounts
 	var open int
 	var relayed uint64
 	list, err := s.core.Statistics(ctx, func() {
-		classes, open = s.front.Figures()
+		classes, open = s.front.RequestStats()
 		relayed = s.pool.Relayed()
 	})
 	if err != nil {
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -35,7 +35,7 @@
 // descriptors are the successor's now.
 func (l *lifecycle) HandOverConnections(successor *takeover.Conn) {
 	l.sidecar.pool.Idle(false)
-	l.sidecar.front.Release(func(conn net.Conn) bool { return successor.HandOver(conn) == nil })
+	l.sidecar.front.SetHandoff(func(conn net.Conn) bool { return successor.HandOver(conn) == nil })
 	l.Loop.After(successorStartGrace, func() {
 		if l.SuccessorConn == successor { // else clients are served again here, or the process ends otherwise
 			l.WaitUntilDrained()
@@ -45,7 +45,7 @@
 
 // ResumeServing accepts again: the successor was lost.
 func (l *lifecycle) ResumeServing() {
-	l.sidecar.front.Release(nil)
+	l.sidecar.front.SetHandoff(nil)
 	l.sidecar.core.CancelHandover()
 	l.sidecar.pool.Idle(true)
 	l.CancelWait()
@@ -57,7 +57,7 @@
 func (l *lifecycle) Drain() {
 	l.sidecar.log.Info("draining")
 	l.sidecar.accepting.Store(false)
-	l.sidecar.front.Release(nil)
+	l.sidecar.front.SetHandoff(nil)
 	if !l.stopRequested { // it is the successor that was told to stop
 		l.answerInTime()
 	}
@@ -75,7 +75,7 @@
 // stopListening accepts the rest of the socket's queue and closes it.
 func (l *lifecycle) stopListening() {
 	l.pause()
-	l.sidecar.front.AcceptRest(l.listener, l.sidecar.identify)
+	l.sidecar.front.AcceptQueued(l.listener, l.sidecar.identify)
 	l.listener.Close()
 	l.sidecar.front.Quiesce() // connections accepted meanwhile that have sent nothing
 	l.WaitUntilDrained()
@@ -84,7 +84,7 @@
 // CloseRemaining closes what is still open at the end of the drain time.
 func (l *lifecycle) CloseRemaining() {
 	l.sidecar.log.Warn("drain timeout, connections closed", "after", drainTimeout)
-	l.sidecar.front.Cut()
+	l.sidecar.front.CloseAll()
 }
 
 // SendFailed does nothing: the connection's end is logged.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -103,7 +103,7 @@
 		{"wrong method", request("POST", "/look", "look", 400, "x"), 405},
 		{"time in words", with(look(400), "X-Expires-In-Ms", "peer.Soon"), 400},
 		{"negative time", look(-1), 400},
-		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*http1.HeaderMost)), 431},
+		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*http1.MaxHeaderBytes)), 431},
 	} {
 		if resp, _ := s.ask(t, tc.r); resp.StatusCode != tc.want {
 			t.Errorf("%s: %s, want %d", tc.name, resp.Status, tc.want)
@@ -117,7 +117,7 @@
 	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
 	for _, tc := range []struct{ name, text, want string }{
 		{"no HTTP", "LOOK\r\n\r\n", "400"},
-		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", http1.HeaderMost), "431"},
+		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", http1.MaxHeaderBytes), "431"},
 		{"hidden request", head("Content-Length: 5", "Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "400"},
 		{"old chunks", strings.Replace(head("Content-Length: 5", "Transfer-Encoding: chunked"), "1.1", "1.0", 1) + chunked, "400"},
 		{"unknown encoding", head("Content-Length: 5", "Transfer-Encoding: xchunked") + chunked, "400"},
@@ -158,7 +158,7 @@
 			t.Fatal(err)
 		}
 		io.WriteString(c, tc.text)
-		c.SetReadDeadline(time.Now().Add(http1.RequestTime / 2))
+		c.SetReadDeadline(time.Now().Add(http1.RequestTimeout / 2))
 		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+tc.want+" ") ||
 			strings.Count(string(got), "HTTP/1.1") != 1 {
 			t.Errorf("%s: answered %q, %v, want one %s and the end", tc.name, got, err, tc.want)
@@ -427,7 +427,7 @@
 		}
 	}
 	first := silent[0]
-	first.SetReadDeadline(time.Now().Add(http1.RequestTime / 2))
+	first.SetReadDeadline(time.Now().Add(http1.RequestTimeout / 2))
 	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the connection silent for longest: %v, want it closed", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -117,7 +117,7 @@
 	pool   *upstream.Pool
 	core   *core.Core
 	source *discovery.Source
-	front  *http1.Front
+	front  *http1.Server
 	client *http1.Client // the application
 	events *eventlog.Log // nil where they are not asked for
 
@@ -192,18 +192,18 @@
 		return nil, err
 	}
 	s.front, err = http1.New(http1.Options{
-		Clock:     clk,
-		Site:      &c.Site,
-		Core:      s.core,
-		Pool:      s.endpoints,
-		SendWhole: s.pool.SendWhole,
-		Limits:    clientLimits(availableSockets(c)),
-		Log:       log,
+		Clock:       clk,
+		Site:        &c.Site,
+		Core:        s.core,
+		Pool:        s.endpoints,
+		SendAttempt: s.pool.SendWhole,
+		Limits:      clientLimits(availableSockets(c)),
+		Log:         log,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.client, err = s.front.NewClient(http1.Spec{ClientSpec: fairqueue.ClientSpec{Name: c.Name, Weight: 1}})
+	s.client, err = s.front.NewClient(http1.ClientSettings{ClientSpec: fairqueue.ClientSpec{Name: c.Name, Weight: 1}})
 	return s, err
 }
 
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -173,7 +173,7 @@
 			t.Errorf("sized %v: %s, %d bytes, %v", sized, resp.Status, len(got), err)
 		}
 	}
-	f, open := s.parts.front.Figures()
+	f, open := s.parts.front.RequestStats()
 	if f[2].Fulfilled != 2 || s.parts.pool.Relayed() != 2 {
 		t.Errorf("figures: %+v, %d open, %d relayed", f, open, s.parts.pool.Relayed())
 	}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -202,7 +202,7 @@
 	defer c.Close()
 	text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
 	io.WriteString(c, text[:len(text)-1])
-	scriptedpeer.Eventually(t, "it has begun", func() bool { all, _ := s.parts.front.Conns(); return all > 0 })
+	scriptedpeer.Eventually(t, "it has begun", func() bool { all, _ := s.parts.front.ConnectionCounts(); return all > 0 })
 	begun := time.Now()
 	s.stop()
 	late := time.AfterFunc(900*time.Millisecond, func() { io.WriteString(c, text[len(text)-1:]) }) // its time would end at 1.9 s
--- a/internal/takeover/host.go
+++ b/internal/takeover/host.go
@@ -65,12 +65,12 @@
 
 // Frontend is the part of a host's frontend that a Lifecycle drains.
 type Frontend interface {
-	// Release hands idle connections to a function from now on; nil ends that.
-	Release(handOver func(net.Conn) bool)
+	// SetHandoff hands idle connections to a function from now on; nil ends that.
+	SetHandoff(handOver func(net.Conn) bool)
 	// Quiesce closes idle connections, and the others after their answers.
 	Quiesce()
-	// Wait returns nil once no connection is open, or an error once ctx ends.
-	Wait(ctx context.Context) error
+	// WaitDrained returns nil once no connection is open, or an error once ctx ends.
+	WaitDrained(ctx context.Context) error
 }
 
 func now() monotime.Micros { return Monotonic() }
--- a/internal/takeover/lifecycle.go
+++ b/internal/takeover/lifecycle.go
@@ -86,7 +86,7 @@
 // WaitUntilDrained steps the predecessor's machine once no connection is served and none will be handed to this
 // process.
 func (l *Lifecycle) WaitUntilDrained() {
-	l.wait(l.frontend.Wait, func() {
+	l.wait(l.frontend.WaitDrained, func() {
 		l.drainedEarly = l.Successor.ReceivesConnections()
 		if !l.drainedEarly {
 			l.StepPredecessor(decide.Drained)
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -95,7 +95,7 @@
 		l.host.Drain()
 	case decide.DrainForSuccessor:
 		l.log.Info("draining, another process serves")
-		l.frontend.Release(nil)
+		l.frontend.SetHandoff(nil)
 		l.frontend.Quiesce()
 		l.WaitUntilDrained()
 	case decide.CloseRemaining:
