--- a/cmd/dunlinsail/size_test.go
+++ b/cmd/dunlinsail/size_test.go
@@ -62,7 +62,7 @@
 			defer c.Close()
 			c.SetDeadline(time.Now().Add(time.Minute))
 			r := bufio.NewReader(c)
-			io.WriteString(c, head("GET", "/look/1", "X-Expires-In-Ms: 1000\r\n"))
+			io.WriteString(c, requestHead("GET", "/look/1", "X-Expires-In-Ms: 1000\r\n"))
 			resp, err := http.ReadResponse(r, nil)
 			if err == nil && resp.StatusCode != 200 {
 				err = fmt.Errorf("answered %s", resp.Status)
--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -29,17 +29,17 @@
 )
 
 // within is how long the platform waits for a new process.
-const within = 6 * time.Second
+const readyTimeout = 6 * time.Second
 
 // host is what the platform holds for one sidecar: the clients' listening socket and a folder.
 type host struct {
-	t      *testing.T
-	ln     *os.File
-	addr   string
-	dir    string
-	config string
-	to     [2]atomic.Int64 // requests at the endpoints s-0 and s-1
-	hold   atomic.Pointer[chan struct{}]
+	t        *testing.T
+	ln       *os.File
+	addr     string
+	dir      string
+	config   string
+	requests [2]atomic.Int64 // requests at the endpoints s-0 and s-1
+	hold     atomic.Pointer[chan struct{}]
 
 	processes int // that were started
 }
@@ -65,9 +65,9 @@
 	t.Cleanup(func() { f.Close() })
 	h := &host{t: t, ln: f, addr: ln.Addr().String(), dir: t.TempDir()}
 	var list []string
-	for i := range h.to {
+	for i := range h.requests {
 		addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
-			if h.to[i].Add(1); r.URL.Path == "/pay/held" {
+			if h.requests[i].Add(1); r.URL.Path == "/pay/held" {
 				<-*h.hold.Load()
 			}
 			io.Copy(w, r.Body)
@@ -86,11 +86,11 @@
 
 // process is one version of the sidecar.
 type process struct {
-	h     *host
-	cmd   *exec.Cmd
-	desk  string
-	log   bytes.Buffer
-	ended chan error
+	h            *host
+	cmd          *exec.Cmd
+	adminAddress string
+	log          bytes.Buffer
+	ended        chan error
 }
 
 // start starts a process without waiting for it.
@@ -107,7 +107,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	p := &process{h: h, desk: desk, cmd: exec.Command(program), ended: make(chan error, 1)}
+	p := &process{h: h, adminAddress: desk, cmd: exec.Command(program), ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_LISTEN="+h.addr, "ROUTER_OPERATOR="+desk,
 		"ROUTER_INHERITED_FD=3", "TMPDIR="+h.dir,
 		"GORACE=atexit_sleep_ms=0") // the detector's own wait at the end is none of the program's
@@ -123,7 +123,7 @@
 
 // call makes an operator's call.
 func (p *process) call(method, path, body string) (int, string) {
-	r, err := http.NewRequest(method, "http://"+p.desk+path, strings.NewReader(body))
+	r, err := http.NewRequest(method, "http://"+p.adminAddress+path, strings.NewReader(body))
 	if err != nil {
 		p.h.t.Fatal(err)
 	}
@@ -136,7 +136,7 @@
 	return resp.StatusCode, string(text)
 }
 
-func (p *process) byHand(word, target string) {
+func (p *process) setCordon(word, target string) {
 	p.h.t.Helper()
 	if code, text := p.call("POST", "/endpoints/"+word, `{"target":"`+target+`"}`); code != 200 {
 		p.h.t.Fatalf("%s %s: %d %s", word, target, code, text)
@@ -146,7 +146,7 @@
 // ready waits until a process takes clients.
 func (p *process) ready() *process {
 	p.h.t.Helper()
-	for end := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(readyTimeout); ; time.Sleep(5 * time.Millisecond) {
 		if code, _ := p.call("GET", "/ready", ""); code == 200 {
 			return p
 		}
@@ -158,7 +158,7 @@
 		if time.Now().After(end) {
 			p.cmd.Process.Kill()
 			<-p.ended
-			p.h.t.Fatalf("not ready within %v:\n%s", within, p.log.String())
+			p.h.t.Fatalf("not ready within %v:\n%s", readyTimeout, p.log.String())
 		}
 	}
 }
@@ -190,13 +190,13 @@
 
 var ids atomic.Int64
 
-func head(method, path, more string) string {
+func requestHead(method, path, more string) string {
 	class, _, _ := strings.Cut(path[1:], "/")
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %d\r\nX-Qos: %s\r\n%s\r\n", method, path, ids.Add(1), class, more)
 }
 
 // ask sends a request on a connection and returns the answer's status.
-func ask(c net.Conn, r *bufio.Reader, text string) (int, error) {
+func exchange(c net.Conn, r *bufio.Reader, text string) (int, error) {
 	c.SetDeadline(time.Now().Add(10 * time.Second))
 	if _, err := io.WriteString(c, text); err != nil {
 		return 0, err
@@ -209,34 +209,34 @@
 	return resp.StatusCode, err
 }
 
-func (h *host) once(method, path, more string) {
+func (h *host) requestOnce(method, path, more string) {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.addr)
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	defer c.Close()
-	if code, err := ask(c, bufio.NewReader(c), head(method, path, more)); code != 200 {
+	if code, err := exchange(c, bufio.NewReader(c), requestHead(method, path, more)); code != 200 {
 		h.t.Fatalf("answered %d, %v", code, err)
 	}
 }
 
 // open has a client whose request is open at an endpoint until h.hold lets it go, and returns where its
 // answer's status comes.
-func (h *host) open() <-chan int {
+func (h *host) openRequest() <-chan int {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.addr)
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(func() { c.Close() })
-	before := h.to[0].Load() + h.to[1].Load()
+	before := h.requests[0].Load() + h.requests[1].Load()
 	answered := make(chan int, 1)
 	go func() {
-		code, _ := ask(c, bufio.NewReader(c), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+		code, _ := exchange(c, bufio.NewReader(c), requestHead("POST", "/pay/held", "Content-Length: 0\r\n"))
 		answered <- code
 	}()
-	scriptedpeer.Eventually(h.t, "request at an endpoint", func() bool { return h.to[0].Load()+h.to[1].Load() > before })
+	scriptedpeer.Eventually(h.t, "request at an endpoint", func() bool { return h.requests[0].Load()+h.requests[1].Load() > before })
 	return answered
 }
 
@@ -245,7 +245,7 @@
 func (h *host) load(clients int) (stop func() int64) {
 	// A sidecar that knows nothing yet guesses long times, and refuses what comes at once beyond what they allow.
 	for range 10 {
-		h.once("POST", "/pay/1", "Content-Length: 0\r\n")
+		h.requestOnce("POST", "/pay/1", "Content-Length: 0\r\n")
 	}
 	var done atomic.Bool
 	var asked atomic.Int64
@@ -271,7 +271,7 @@
 				}
 				asked.Add(1)
 				// Unsafe, so that none is given up and asked for elsewhere because the machine is slow.
-				if code, err := ask(c, r, head("POST", "/pay/1", "Content-Length: 0\r\n")); code != 200 {
+				if code, err := exchange(c, r, requestHead("POST", "/pay/1", "Content-Length: 0\r\n")); code != 200 {
 					h.t.Errorf("answered %d, %v", code, err)
 					return
 				}
@@ -295,13 +295,13 @@
 	h.hold.Store(&hold)
 	one := h.start().ready()
 	stop := h.load(4)
-	one.byHand("disable", "s-0")
-	one.byHand("disable", "s-0")
+	one.setCordon("disable", "s-0")
+	one.setCordon("disable", "s-0")
 	if code, text := one.call("POST", "/endpoints/disable", `{"target":"s-9"}`); code != 404 {
 		t.Errorf("an id that nobody has: %d %s", code, text)
 	}
 	time.Sleep(50 * time.Millisecond) // what was on its way has arrived
-	before := h.to[0].Load()
+	before := h.requests[0].Load()
 	old := one
 	for range 2 {
 		half, err := net.Dial("tcp", h.addr)
@@ -309,27 +309,27 @@
 			t.Fatal(err)
 		}
 		defer half.Close()
-		text := head("GET", "/look/1", "")
+		text := requestHead("GET", "/look/1", "")
 		io.WriteString(half, text[:len(text)/2])
 		held, err := net.Dial("tcp", h.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer held.Close()
-		at := h.to[1].Load()
+		at := h.requests[1].Load()
 		answered := make(chan int, 1)
 		go func() {
-			code, _ := ask(held, bufio.NewReader(held), head("POST", "/pay/held", "Content-Length: 0\r\n"))
+			code, _ := exchange(held, bufio.NewReader(held), requestHead("POST", "/pay/held", "Content-Length: 0\r\n"))
 			answered <- code
 		}()
-		scriptedpeer.Eventually(t, "requests at the endpoint", func() bool { return h.to[1].Load() > at+1 })
+		scriptedpeer.Eventually(t, "requests at the endpoint", func() bool { return h.requests[1].Load() > at+1 })
 		next := h.start().ready()
 		old.cmd.Process.Signal(syscall.SIGTERM)
 		hold <- struct{}{}
 		if code := scriptedpeer.Within(t, answered, "answer to the one that was held"); code != 200 {
 			t.Errorf("held over the upgrade: %d", code)
 		}
-		if code, err := ask(half, bufio.NewReader(half), text[len(text)/2:]); code != 200 {
+		if code, err := exchange(half, bufio.NewReader(half), text[len(text)/2:]); code != 200 {
 			t.Errorf("half sent before the upgrade: %d %v", code, err)
 		}
 		half.Close()
@@ -340,15 +340,15 @@
 		}
 		old = next
 	}
-	if n := h.to[0].Load() - before; n != 0 {
+	if n := h.requests[0].Load() - before; n != 0 {
 		t.Errorf("%d requests to the endpoint that was out", n)
 	}
 	var figures string
 	if _, figures = old.call("GET", "/metrics", ""); !strings.Contains(figures, "registry_entries=2\nout_of_rotation=1\n") {
 		t.Errorf("figures:\n%s", figures)
 	}
-	old.byHand("enable", "s-0")
-	scriptedpeer.Eventually(t, "requests to the one that is in again", func() bool { return h.to[0].Load() > before })
+	old.setCordon("enable", "s-0")
+	scriptedpeer.Eventually(t, "requests to the one that is in again", func() bool { return h.requests[0].Load() > before })
 	n := stop()
 	if n < 20 {
 		t.Errorf("%d requests in all", n)
@@ -361,14 +361,14 @@
 
 // The old process stands still, or was killed and its socket is left: the new one serves in time, with what was
 // said by hand.
-func TestOldOneIsLost(t *testing.T) {
+func TestPredecessorIsLost(t *testing.T) {
 	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
 		t.Run(signal.String(), func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
 			old := h.start().ready()
-			h.once("GET", "/look/1", "")
-			old.byHand("disable", "s-0")
+			h.requestOnce("GET", "/look/1", "")
+			old.setCordon("disable", "s-0")
 			old.cmd.Process.Signal(signal)
 			if signal == syscall.SIGKILL {
 				<-old.ended
@@ -378,21 +378,21 @@
 				old.cmd.Process.Signal(syscall.SIGKILL) // who waits in its hands is lost, whatever we do
 				<-old.ended
 			}
-			before := h.to[0].Load()
+			before := h.requests[0].Load()
 			for range 20 {
-				h.once("GET", "/look/1", "")
+				h.requestOnce("GET", "/look/1", "")
 			}
-			if h.to[0].Load() != before {
+			if h.requests[0].Load() != before {
 				t.Error("the endpoint that was out got requests")
 			}
-			next.byHand("enable", "s-0")
+			next.setCordon("enable", "s-0")
 		})
 	}
 }
 
 // The new process is lost at each step: the old one goes on as if it had never been asked, and the next one
 // takes over.
-func TestNewOneIsLost(t *testing.T) {
+func TestSuccessorIsLost(t *testing.T) {
 	for steps := range 4 {
 		t.Run(fmt.Sprint(steps), func(t *testing.T) {
 			t.Parallel()
@@ -402,11 +402,11 @@
 			if steps < 3 { // from Yours on, connections are in the hands of the one that is lost
 				stop = h.load(2)
 			}
-			c := h.asTaker(steps)
+			c := h.connectAsSuccessor(steps)
 			old.cmd.Process.Signal(syscall.SIGHUP) // in the middle of it
 			c.Close()
 			scriptedpeer.Eventually(t, "the old one serves as before", func() bool { code, _ := old.call("GET", "/ready", ""); return code == 200 })
-			h.once("GET", "/look/1", "")
+			h.requestOnce("GET", "/look/1", "")
 			h.start().ready()
 			old.cmd.Process.Signal(syscall.SIGTERM)
 			old.ends()
@@ -419,7 +419,7 @@
 }
 
 // asGiver listens as the process that serves.
-func (h *host) asGiver() *takeover.Listener {
+func (h *host) actAsPredecessor() *takeover.Listener {
 	h.t.Helper()
 	ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
 	if err != nil {
@@ -430,7 +430,7 @@
 }
 
 // asTaker connects as a process that wants to take over, and goes so many steps: asked, ready, prepared.
-func (h *host) asTaker(steps int) *takeover.Conn {
+func (h *host) connectAsSuccessor(steps int) *takeover.Conn {
 	h.t.Helper()
 	c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
 	if err != nil {
@@ -457,7 +457,7 @@
 // order comes. What it has taken is answered, and what its clients send whole later is by the time at which the
 // platform kills it: 3 s, the longest that counts, and 0.7 s. The endpoint that has the later one never
 // answers.
-func TestToldToEndInAHandover(t *testing.T) {
+func TestStopDuringHotRestart(t *testing.T) {
 	for steps := range 4 {
 		for _, lost := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d steps, lost %v", steps, lost), func(t *testing.T) {
@@ -472,9 +472,9 @@
 					t.Fatal(err)
 				}
 				defer half.Close()
-				io.WriteString(half, head("POST", "/pay/held", "Content-Length: 2\r\nX-Expires-In-Ms: 3000\r\n")+"o")
-				answered := h.open()
-				taker := h.asTaker(steps)
+				io.WriteString(half, requestHead("POST", "/pay/held", "Content-Length: 2\r\nX-Expires-In-Ms: 3000\r\n")+"o")
+				answered := h.openRequest()
+				taker := h.connectAsSuccessor(steps)
 				defer taker.Close()
 				told := time.Now()
 				old.cmd.Process.Signal(syscall.SIGTERM)
@@ -487,7 +487,7 @@
 				}
 				const killed = 3700 * time.Millisecond
 				time.Sleep(time.Until(told.Add(time.Second))) // whole so late, its own time would end at 4 s
-				code, err := ask(half, bufio.NewReader(half), "k")
+				code, err := exchange(half, bufio.NewReader(half), "k")
 				if took := time.Since(told); code != 504 || took > killed {
 					t.Errorf("what was whole later: %d, %v after %v", code, err, took)
 				}
@@ -503,12 +503,12 @@
 // A process that is to take over is told to end at each step before it serves, twice at once: it ends with 0
 // and has served nobody, and the one that serves sees its end. Who serves is scripted, so that the order comes
 // at that step each time.
-func TestTakerToldToEnd(t *testing.T) {
+func TestSuccessorStoppedBeforeItServes(t *testing.T) {
 	for steps, heard := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared} {
 		t.Run("after "+heard.String(), func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
-			ln := h.asGiver()
+			ln := h.actAsPredecessor()
 			p := h.start()
 			c, err := ln.Accept()
 			if err != nil {
@@ -533,7 +533,7 @@
 				t.Fatal(err)
 			}
 			defer client.Close()
-			io.WriteString(client, head("GET", "/look/1", ""))
+			io.WriteString(client, requestHead("GET", "/look/1", ""))
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.ends()
@@ -551,12 +551,12 @@
 
 // A process that has just taken over is told to end while the one before still has an open request: nobody is
 // to go on, the request is answered, and both end.
-func TestBothEnd(t *testing.T) {
+func TestBothProcessesStop(t *testing.T) {
 	h := newHost(t)
 	hold := make(chan struct{})
 	h.hold.Store(&hold)
 	old := h.start().ready()
-	answered := h.open()
+	answered := h.openRequest()
 	next := h.start().ready()
 	next.cmd.Process.Signal(syscall.SIGTERM)
 	next.ends()
@@ -569,7 +569,7 @@
 
 // What is met is no sidecar, or speaks another version, or garbles what it says, or falls silent at each step:
 // the new process serves in time and does not end for it.
-func TestOldOneGarbles(t *testing.T) {
+func TestPredecessorSendsGarbage(t *testing.T) {
 	for name, answers := range map[string][]takeover.Message{
 		"says nothing":       {},
 		"refuses":            {{Kind: decide.Rejected, Payload: []byte("version 0")}},
@@ -588,7 +588,7 @@
 			if err := os.WriteFile(filepath.Join(h.dir, "dunlinsail.words"), words, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			ln := h.asGiver()
+			ln := h.actAsPredecessor()
 			over := make(chan struct{})
 			go func() {
 				defer close(over)
@@ -610,9 +610,9 @@
 			}()
 			p := h.start().ready()
 			for range 5 {
-				h.once("GET", "/look/1", "")
+				h.requestOnce("GET", "/look/1", "")
 			}
-			if h.to[0].Load() != 0 {
+			if h.requests[0].Load() != 0 {
 				t.Error("the endpoint that was out got requests")
 			}
 			p.cmd.Process.Signal(syscall.SIGTERM)
@@ -623,12 +623,12 @@
 }
 
 // A word said to either of two processes that are both alive holds in both.
-func TestWordsWhileBothLive(t *testing.T) {
+func TestCordonsReachBothProcesses(t *testing.T) {
 	h := newHost(t)
 	hold := make(chan struct{})
 	h.hold.Store(&hold)
 	old := h.start().ready()
-	answered := h.open()
+	answered := h.openRequest()
 	next := h.start().ready()
 	out := func(p *process, want int) {
 		t.Helper()
@@ -637,11 +637,11 @@
 			return strings.Contains(text, fmt.Sprintf("out_of_rotation=%d\n", want))
 		})
 	}
-	old.byHand("disable", "s-0")
+	old.setCordon("disable", "s-0")
 	out(next, 1)
-	next.byHand("enable", "s-0")
+	next.setCordon("enable", "s-0")
 	out(old, 0)
-	next.byHand("disable", "s-1")
+	next.setCordon("disable", "s-1")
 	out(old, 1)
 	close(hold)
 	if code := scriptedpeer.Within(t, answered, "answer"); code != 200 {
--- a/internal/daemon/canary.go
+++ b/internal/daemon/canary.go
@@ -29,7 +29,7 @@
 	if t == nil {
 		return
 	}
-	if good, err := p.config(*p.machine.PersistentState().LastKnownGood); err == nil {
+	if good, err := p.configOf(*p.machine.PersistentState().LastKnownGood); err == nil {
 		t.setObjectives(p.serving.options.Config.Site.Settings.Classes, good.Site.Settings.Classes)
 	}
 	t.take() // what was before
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -19,11 +19,11 @@
 type clients struct {
 	front *http1.Server
 
-	mu        sync.Mutex
-	config    *config.Config
-	byName    map[string]*http1.Client
-	others    *http1.Client // nil where clients that are not named are rejected
-	processes map[clientProcess]*processClient
+	mu            sync.Mutex
+	config        *config.Config
+	byName        map[string]*http1.Client
+	defaultClient *http1.Client // nil where clients that are not named are rejected
+	processes     map[clientProcess]*processClient
 }
 
 // clientProcess is one among those that a rule counts one by one.
@@ -47,7 +47,7 @@
 
 func newClients(front *http1.Server, c *config.Config) (*clients, error) {
 	k := &clients{front: front, byName: map[string]*http1.Client{}, processes: map[clientProcess]*processClient{}}
-	_, err := k.change(c)
+	_, err := k.applyConfig(c)
 	return k, err
 }
 
@@ -57,7 +57,7 @@
 
 // change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
 // the client that they have.
-func (k *clients) change(c *config.Config) (changed int, err error) {
+func (k *clients) applyConfig(c *config.Config) (changed int, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	was := map[string]config.Client{}
@@ -91,7 +91,7 @@
 		}
 		byName[cl.Name] = to
 	}
-	others := k.others
+	others := k.defaultClient
 	switch {
 	case c.Others == nil:
 		others = nil
@@ -102,7 +102,7 @@
 	}
 	k.config = c
 	k.byName = byName
-	k.others = others
+	k.defaultClient = others
 	return changed, nil
 }
 
@@ -115,10 +115,10 @@
 		switch {
 		case err != nil:
 			return nil, nil, err
-		case rule == nil && k.others == nil:
+		case rule == nil && k.defaultClient == nil:
 			return nil, nil, errUnknownClient
 		case rule == nil:
-			return k.others, nil, nil
+			return k.defaultClient, nil, nil
 		case !rule.PerProcess || pid == 0:
 			return k.byName[rule.Name], nil, nil
 		}
@@ -203,7 +203,7 @@
 }
 
 // Held is what is held for one client.
-type Held struct {
+type ClientUsage struct {
 	Client      string
 	Connections int
 	Open        int
@@ -211,24 +211,24 @@
 }
 
 // held returns what is in use by each client.
-func (k *clients) held() []Held {
+func (k *clients) usage() []ClientUsage {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var all []Held
+	var all []ClientUsage
 	add := func(c *http1.Client) {
 		conns, open, bytes := k.front.ClientUsage(c)
-		all = append(all, Held{c.Name, conns, open, bytes})
+		all = append(all, ClientUsage{c.Name, conns, open, bytes})
 	}
 	for _, c := range k.byName {
 		add(c)
 	}
-	if k.others != nil {
-		add(k.others)
+	if k.defaultClient != nil {
+		add(k.defaultClient)
 	}
 	for _, s := range k.processes {
 		add(s.client)
 	}
-	slices.SortFunc(all, func(a, b Held) int {
+	slices.SortFunc(all, func(a, b ClientUsage) int {
 		if a.Client < b.Client {
 			return -1
 		}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -22,21 +22,21 @@
 	w := newWorld(t, 2, endpoint.Options{})
 	d := start(t, w.config(t))
 	tcp, unix := dial(t, "tcp", d.addrs["desk"]), dial(t, "unix", d.addrs["local"])
-	for _, k := range []*link{tcp, unix} {
+	for _, k := range []*clientConn{tcp, unix} {
 		for _, class := range []string{"look", "book", "pay"} {
 			text := request(class, 900, "12345")
-			resp, body := k.ask(t, text)
+			resp, body := k.request(t, text)
 			id := strings.TrimPrefix(strings.Split(text, "\r\n")[2], "X-Trace-Id: ")
 			if resp.StatusCode != 200 || !strings.HasPrefix(body, id+" ") {
 				t.Errorf("%s: %s %q, want the answer to %s", class, resp.Status, body, id)
 			}
 		}
 	}
-	if resp, body := tcp.ask(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+	if resp, body := tcp.request(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 		t.Errorf("ready: %s %q", resp.Status, body)
 	}
 	want := map[string]int{"desk": 1, "each/" + strconv.Itoa(os.Getpid()): 1, "each": 0}
-	for _, h := range d.clients.held() {
+	for _, h := range d.clients.usage() {
 		if n, ok := want[h.Client]; !ok || n != h.Connections {
 			t.Errorf("%+v, want connections of %v", h, want)
 		}
@@ -70,10 +70,10 @@
 				}
 				return
 			}
-			if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 				t.Fatalf("%s", resp.Status)
 			}
-			for _, h := range d.clients.held() {
+			for _, h := range d.clients.usage() {
 				if (h.Connections == 1) != strings.HasPrefix(h.Client, tc.want) || h.Client == "each" {
 					if h.Connections == 1 {
 						t.Errorf("counted as %q, want %q", h.Client, tc.want)
@@ -97,7 +97,7 @@
 		})
 	}
 	d := start(t, w.config(t, "name = \"desk\"\n[[client]]", "name = \"desk\"\nopen_requests = 2\nconnections = 4\nbytes_held = \"128KiB\"\n[[client]]"))
-	var open []*link
+	var open []*clientConn
 	for range 2 {
 		k := dial(t, "tcp", d.addrs["desk"])
 		if _, err := io.WriteString(k, request("pay", 5000, strings.Repeat("x", 40<<10))); err != nil {
@@ -107,16 +107,16 @@
 	}
 	scriptedpeer.Eventually(t, "two open", func() bool { return d.pools[""].endpoints.Counts().InFlight == 2 })
 	third := dial(t, "tcp", d.addrs["desk"])
-	resp, body := third.ask(t, request("look", 900, ""))
+	resp, body := third.request(t, request("look", 900, ""))
 	if resp.StatusCode != 503 || !strings.Contains(body, "too many requests of this client") {
 		t.Errorf("over open_requests: %s %q", resp.Status, body)
 	}
 	fourth := dial(t, "tcp", d.addrs["desk"])
-	resp, body = fourth.ask(t, request("pay", 900, strings.Repeat("x", 60<<10)))
+	resp, body = fourth.request(t, request("pay", 900, strings.Repeat("x", 60<<10)))
 	if resp.StatusCode != 503 || !strings.Contains(body, "bytes") || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("over bytes_held: %s %q, Retry-After %q", resp.Status, body, resp.Header.Get("Retry-After"))
 	}
-	if resp, _ := dial(t, "unix", d.addrs["local"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := dial(t, "unix", d.addrs["local"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Errorf("another client beside it: %s", resp.Status)
 	}
 	close(hold)
@@ -126,7 +126,7 @@
 		}
 	}
 	scriptedpeer.Eventually(t, "nothing held", func() bool {
-		for _, h := range d.clients.held() {
+		for _, h := range d.clients.usage() {
 			if h.Client == "desk" && (h.Bytes != 0 || h.Open != 0) {
 				return false
 			}
@@ -142,7 +142,7 @@
 	codes := map[int]int{}
 	for range 6 {
 		k := dial(t, "unix", d.addrs["local"])
-		resp, _ := k.ask(t, request("look", 900, ""))
+		resp, _ := k.request(t, request("look", 900, ""))
 		codes[resp.StatusCode]++
 		if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode == 429 && (err != nil || after <= 0 || after > 1) {
 			t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
@@ -215,7 +215,7 @@
 	defer one.Close()
 	d := start(t, w.config(t))
 	k := dial(t, "unix", d.addrs["local"])
-	if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Fatal(resp.Status)
 	}
 	d.reload <- syscall.SIGHUP
@@ -225,15 +225,15 @@
 	}
 	// The connection that was open has the new bounds, and only one endpoint serves.
 	scriptedpeer.Eventually(t, "the new rate", func() bool {
-		resp, _ := k.ask(t, request("look", 900, ""))
+		resp, _ := k.request(t, request("look", 900, ""))
 		return resp.StatusCode == 429
 	})
 	scriptedpeer.Eventually(t, "the new discovery", func() bool {
-		_, body := dial(t, "tcp", d.addrs["desk"]).ask(t, request("look", 900, ""))
+		_, body := dial(t, "tcp", d.addrs["desk"]).request(t, request("look", 900, ""))
 		return strings.Contains(body, " s-1 ")
 	})
 	for range 20 {
-		if _, body := dial(t, "tcp", d.addrs["desk"]).ask(t, request("look", 900, "")); !strings.Contains(body, " s-1 ") {
+		if _, body := dial(t, "tcp", d.addrs["desk"]).request(t, request("look", 900, "")); !strings.Contains(body, " s-1 ") {
 			t.Fatalf("answered by %q", body)
 		}
 	}
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -34,10 +34,10 @@
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	ready := dial(t, "tcp", c.Listeners[0].Address)
 	scriptedpeer.Eventually(t, "ready", func() bool {
-		resp, _ := ready.ask(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, _ := ready.request(t, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 		return resp.StatusCode == 200
 	})
-	var open []*link
+	var open []*clientConn
 	for _, class := range []string{"book", "pay"} {
 		k := dial(t, "unix", strings.TrimPrefix(c.Listeners[1].Address, "unix:"))
 		if _, err := io.WriteString(k, request(class, 900, "x")); err != nil {
@@ -56,7 +56,7 @@
 	}
 	next := start(t, c)
 	for range 20 {
-		if resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		if resp, _ := dial(t, "tcp", next.addrs["desk"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Fatalf("the next process: %s", resp.Status)
 		}
 	}
@@ -76,7 +76,7 @@
 	d := start(t, w.config(t, "[connections]\n", "[connections]\nclients = 40\nat_rest = 30\n",
 		"name = \"desk\"\n[[client]]", "name = \"desk\"\nconnections = 10\n[[client]]"))
 	other := dial(t, "unix", d.addrs["local"])
-	if resp, _ := other.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := other.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Fatal(resp.Status)
 	}
 	var sits []net.Conn
@@ -95,16 +95,16 @@
 		}
 	}
 	for range 3 {
-		if resp, _ := other.ask(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := other.request(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
 			t.Errorf("another client: %s, close %v", resp.Status, resp.Close)
 		}
-		if resp, _ := dial(t, "unix", d.addrs["local"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		if resp, _ := dial(t, "unix", d.addrs["local"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Errorf("another client's new connection: %s", resp.Status)
 		}
 	}
-	last := &link{Conn: sits[24]}
+	last := &clientConn{Conn: sits[24]}
 	last.r = readerOf(last.Conn)
-	if resp, _ := last.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := last.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Errorf("its own latest connection: %s", resp.Status)
 	}
 }
@@ -137,7 +137,7 @@
 		c.Close()
 	}
 	scriptedpeer.Eventually(t, "all given back", func() bool {
-		for _, h := range d.clients.held() {
+		for _, h := range d.clients.usage() {
 			if h.Client == "desk" && (h.Connections != 0 || h.Bytes != 0) {
 				return false
 			}
@@ -156,7 +156,7 @@
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	k := dial(t, "tcp", c.Listeners[0].Address)
 	scriptedpeer.Eventually(t, "ready", func() bool {
-		resp, _ := k.ask(t, request("look", 900, ""))
+		resp, _ := k.request(t, request("look", 900, ""))
 		return resp.StatusCode == 200
 	})
 	var crowd []net.Conn
@@ -187,7 +187,7 @@
 	}
 	scriptedpeer.Eventually(t, "it accepts again", func() bool {
 		k := dial(t, "tcp", c.Listeners[0].Address)
-		resp, _ := k.ask(t, request("look", 900, ""))
+		resp, _ := k.request(t, request("look", 900, ""))
 		k.Close()
 		return resp.StatusCode == 200
 	})
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -155,7 +155,7 @@
 		counts := third.pools[""].endpoints.Counts()
 		return conns == 0 && busy == 0 && counts.Queued == 0 && counts.InFlight == 0 && counts.OpenCalls == 0
 	})
-	for _, h := range third.clients.held() {
+	for _, h := range third.clients.usage() {
 		if h.Connections != 0 || h.Open != 0 || h.Bytes != 0 {
 			t.Errorf("still held: %+v", h)
 		}
@@ -218,7 +218,7 @@
 	local := strings.TrimPrefix(d.options.Config.Listeners[1].Address, "unix:")
 	warm := dial(t, "tcp", d.addrs["desk"])
 	for range 50 {
-		warm.ask(t, request("look", 900, ""))
+		warm.request(t, request("look", 900, ""))
 	}
 	files := func() int {
 		all, err := os.ReadDir("/proc/self/fd")
@@ -258,8 +258,8 @@
 		scriptedpeer.Eventually(t, "all given back", func() bool {
 			conns, busy := d.front.ConnectionCounts()
 			counts := d.pools[""].endpoints.Counts()
-			for _, h := range d.clients.held() {
-				if h.Client != "desk" && h != (Held{Client: h.Client}) {
+			for _, h := range d.clients.usage() {
+				if h.Client != "desk" && h != (ClientUsage{Client: h.Client}) {
 					return false
 				}
 			}
@@ -275,7 +275,7 @@
 	if after := memory(); after > heap+1<<20 {
 		t.Errorf("%d bytes of heap before, %d after", heap, after)
 	}
-	if resp, _ := warm.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := warm.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Errorf("another client: %s", resp.Status)
 	}
 }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -120,7 +120,7 @@
 }
 
 // start starts what runs beside the front: core, pool, watch. end ends it.
-func (d *generation) start() {
+func (d *generation) startBackground() {
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.goroutines.Go(func() { d.core.Run(d.ctx) })
 	d.goroutines.Go(func() { d.upstreams.Keep(d.ctx) })
@@ -130,7 +130,7 @@
 }
 
 // end ends what runs beside the front. It may be called without start.
-func (d *generation) end() {
+func (d *generation) stopBackground() {
 	for _, l := range d.listeners {
 		l.close()
 	}
@@ -160,8 +160,8 @@
 }
 
 // apply changes into a configuration that is live.
-func (d *generation) apply(next *config.Config) error {
-	changed, err := d.clients.change(next)
+func (d *generation) applyConfig(next *config.Config) error {
+	changed, err := d.clients.applyConfig(next)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -24,8 +24,8 @@
 	addr := was.Listeners[0].Address
 	d := start(t, was)
 	atRest, unix, inUse := dial(t, "tcp", addr), dial(t, "unix", d.addrs["local"]), dial(t, "tcp", addr)
-	for _, k := range []*link{atRest, unix} {
-		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	for _, k := range []*clientConn{atRest, unix} {
+		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Fatal(resp.Status)
 		}
 	}
@@ -40,7 +40,7 @@
 			return endpoint.None
 		})
 	}
-	load := desk(addr, 400, 2*time.Second, func(r client.Result) {
+	load := steadyClient(addr, 400, 2*time.Second, func(r client.Result) {
 		if r.Verdict != client.Served {
 			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
 		}
@@ -66,7 +66,7 @@
 		}
 		last = g
 		if i == 1 {
-			if resp, _ := dial(t, "tcp", g.addresses()["more"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			if resp, _ := dial(t, "tcp", g.addresses()["more"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 				t.Errorf("the new listener: %s", resp.Status)
 			}
 		}
@@ -81,8 +81,8 @@
 	}
 	t.Logf("longest gap between answers %v, p99 %v", r.LongestGap, r.Quantile(0.99))
 	checkRuns(t, w.ledger.Runs())
-	for name, k := range map[string]*link{"at rest": atRest, "unix": unix, "in use": inUse} {
-		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	for name, k := range map[string]*clientConn{"at rest": atRest, "unix": unix, "in use": inUse} {
+		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Errorf("the connection %s, four changes later: %s", name, resp.Status)
 		}
 	}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -82,7 +82,7 @@
 	Name    string            `json:"Name"`
 	Members []peers.Member    `json:"Members"`
 	Fleet   coordination.View `json:"Fleet"`
-	Words   peers.Stats       `json:"Words"`
+	Gossip  peers.Stats       `json:"Words"`
 }
 
 // fleetView returns the view of the fleet as JSON.
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -45,7 +45,7 @@
 }
 
 // world is a roster and endpoints for a daemon under test.
-type world struct {
+type testFleet struct {
 	roster    *discoveryserver.Server
 	ledger    *endpoint.Ledger
 	endpoints []*endpoint.Server
@@ -54,9 +54,9 @@
 }
 
 // newWorld starts n endpoints of one cell and a roster that lists them as long up.
-func newWorld(t *testing.T, n int, o endpoint.Options) *world {
+func newWorld(t *testing.T, n int, o endpoint.Options) *testFleet {
 	t.Helper()
-	w := &world{ledger: &endpoint.Ledger{}, dir: t.TempDir()}
+	w := &testFleet{ledger: &endpoint.Ledger{}, dir: t.TempDir()}
 	o.Ledger, o.Keyed = w.ledger, 400*time.Millisecond
 	var entries []discovery.Instance
 	for i := range n {
@@ -77,13 +77,13 @@
 	return w
 }
 
-func (w *world) entry(i int) discovery.Instance {
+func (w *testFleet) entry(i int) discovery.Instance {
 	return scripteddiscovery.Up(fmt.Sprint("s-", i), w.endpoints[i].Addr)
 }
 
 // file returns a daemon's file: a TCP listener for the client desk, a unix socket where each process is a client,
 // and a site of three classes. Edits are pairs of old and new text.
-func (w *world) file(edits ...string) string {
+func (w *testFleet) file(edits ...string) string {
 	text := `
 name = "under test"
 [process]
@@ -147,7 +147,7 @@
 	return strings.NewReplacer(edits...).Replace(text)
 }
 
-func (w *world) config(t *testing.T, edits ...string) *config.Config {
+func (w *testFleet) config(t *testing.T, edits ...string) *config.Config {
 	t.Helper()
 	c, err := config.Parse([]byte(w.file(edits...)))
 	if err != nil {
@@ -257,23 +257,23 @@
 }
 
 // link is a client's connection in this process.
-type link struct {
+type clientConn struct {
 	net.Conn
 	r *bufio.Reader
 }
 
-func dial(t *testing.T, network, addr string) *link {
+func dial(t *testing.T, network, addr string) *clientConn {
 	t.Helper()
 	c, err := net.Dial(network, addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &link{c, bufio.NewReader(c)}
+	return &clientConn{c, bufio.NewReader(c)}
 }
 
 // ask makes a request and returns the whole answer.
-func (k *link) ask(t *testing.T, text string) (*http.Response, string) {
+func (k *clientConn) request(t *testing.T, text string) (*http.Response, string) {
 	t.Helper()
 	if _, err := io.WriteString(k, text); err != nil {
 		t.Fatal(err)
@@ -281,7 +281,7 @@
 	return k.answer(t)
 }
 
-func (k *link) answer(t *testing.T) (*http.Response, string) {
+func (k *clientConn) answer(t *testing.T) (*http.Response, string) {
 	t.Helper()
 	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
 	resp, err := http.ReadResponse(k.r, nil)
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -31,7 +31,7 @@
 	onServing     func()         // called once it accepts
 	onHandingOver func(yes bool) // called when a successor is served, and when it is not any more
 
-	received         offer
+	offer            offer
 	offeredListeners []net.Listener // in the offer's order; nil for one that cannot be used
 	earlyConns       []net.Conn     // connections handed over before this generation accepts
 
@@ -103,7 +103,7 @@
 	for _, conn := range l.earlyConns {
 		conn.Close()
 	}
-	l.generation.end()
+	l.generation.stopBackground()
 	l.Loop.Goroutines.Wait()
 }
 
@@ -148,7 +148,7 @@
 	if err := l.listen(l.stop, nil, nil, bindTimeout); err != nil {
 		return err
 	}
-	l.generation.start()
+	l.generation.startBackground()
 	l.StartServing()
 	return nil
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -17,12 +17,12 @@
 // and for any other one a new generation takes over from it, within the process, as another process would. Its
 // fields belong to the goroutine in run; others use events.
 type process struct {
-	options Options
-	log     *slog.Logger
-	stop    context.Context
-	events  chan func()
-	closed  chan struct{} // closed once no event is taken any more
-	timer   *time.Timer
+	options     Options
+	log         *slog.Logger
+	stopContext context.Context
+	events      chan func()
+	closed      chan struct{} // closed once no event is taken any more
+	timer       *time.Timer
 
 	serving   *lifecycle // that serves, or is the first to
 	successor *lifecycle // that is to take over from it; nil while none is
@@ -41,11 +41,11 @@
 		o.Seed = rand.Uint64()
 	}
 	p := &process{
-		options: o,
-		log:     o.Log,
-		stop:    stop,
-		events:  make(chan func(), eventsBuffer),
-		closed:  make(chan struct{}),
+		options:     o,
+		log:         o.Log,
+		stopContext: stop,
+		events:      make(chan func(), eventsBuffer),
+		closed:      make(chan struct{}),
 	}
 	p.restoreVersions()
 	return p
@@ -72,7 +72,7 @@
 	defer p.timer.Stop()
 	slots := time.NewTicker(sampleInterval)
 	defer slots.Stop()
-	p.start(p.serving)
+	p.startLifecycle(p.serving)
 	for p.running > 0 {
 		p.armTimer()
 		select {
@@ -113,7 +113,7 @@
 
 // newLifecycle returns the lifecycle of a generation, which notifies the process.
 func (p *process) newLifecycle(g *generation, predecessor *takeover.Conn) *lifecycle {
-	l := newLifecycle(p.stop, g, predecessor)
+	l := newLifecycle(p.stopContext, g, predecessor)
 	l.onServing = func() {
 		addresses := l.addresses()
 		tookOver := l.Successor.ReceivesConnections()
@@ -129,7 +129,7 @@
 	return l
 }
 
-func (p *process) start(l *lifecycle) {
+func (p *process) startLifecycle(l *lifecycle) {
 	p.running++
 	go func() {
 		err := l.run()
@@ -178,11 +178,11 @@
 	}
 	toSuccessor, toPredecessor, err := takeover.Pair()
 	if err != nil {
-		g.end()
+		g.stopBackground()
 		return err
 	}
 	p.successor = p.newLifecycle(g, toPredecessor)
-	p.start(p.successor)
+	p.startLifecycle(p.successor)
 	from := p.serving
 	go func() {
 		if !from.Loop.Post(func() { from.ReadHello(from.ctx, toSuccessor, answerTimeout) }) {
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -15,7 +15,7 @@
 )
 
 // recording edits a file so that a record is kept, and returns its folder.
-func recording(t *testing.T, w *world) (dir, was, is string) {
+func recording(t *testing.T, w *testFleet) (dir, was, is string) {
 	t.Helper()
 	dir = filepath.Join(w.dir, "record")
 	secret := filepath.Join(w.dir, "secret")
@@ -32,7 +32,7 @@
 	dir, was, is := recording(t, w)
 	d := start(t, w.config(t, was, is))
 	addr := d.addrs["desk"]
-	r := desk(addr, 300, time.Second, nil).Run(context.Background())
+	r := steadyClient(addr, 300, time.Second, nil).Run(context.Background())
 	c := client.New(client.Options{Name: "again", Network: "tcp", Addr: addr, Tenant: "acme"})
 	book := client.Class{Name: "book", Method: http.MethodPost, Keyed: true, Body: 10, Wait: time.Second}
 	for _, id := range []string{"one", "two"} {
@@ -103,7 +103,7 @@
 	p := spawn(t, "daemon", text)
 	<-p.lines
 	addr := strings.Split(strings.Split(text, "address = \"127.0.0.1:")[2], "\"")[0]
-	desk("127.0.0.1:"+addr, 400, time.Second, nil).Run(context.Background())
+	steadyClient("127.0.0.1:"+addr, 400, time.Second, nil).Run(context.Background())
 	p.Process.Kill()
 	<-p.ended
 	rec := must(accesslog.Read(dir))
@@ -118,7 +118,7 @@
 	before := len(rec.Requests)
 	q := spawn(t, "daemon", text)
 	<-q.lines
-	desk("127.0.0.1:"+addr, 400, time.Second, nil).Run(context.Background())
+	steadyClient("127.0.0.1:"+addr, 400, time.Second, nil).Run(context.Background())
 	q.Process.Kill()
 	<-q.ended
 	if rec = must(accesslog.Read(dir)); len(rec.Requests) < before+100 || len(rec.Runs) != 2 {
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -66,9 +66,9 @@
 	for _, s := range steps {
 		switch s.Action {
 		case rollout.ActionValidate:
-			p.carryOut(p.machine.HandleValidated(now(), p.check(&s)))
+			p.carryOut(p.machine.HandleValidated(now(), p.checkVersion(&s)))
 		case rollout.ActionApply, rollout.ActionRollBack:
-			p.apply(&s)
+			p.applyVersion(&s)
 		case rollout.ActionStartCanary:
 			p.startCanary()
 		case rollout.ActionStopCanary:
@@ -82,7 +82,7 @@
 }
 
 // config returns what a pair of versions comes to.
-func (p *process) config(pair rollout.LayeredVersion) (*config.Config, error) {
+func (p *process) configOf(pair rollout.LayeredVersion) (*config.Config, error) {
 	file := p.files[pair.File.Digest]
 	if file == nil {
 		return nil, fmt.Errorf("the content of %v is not held any more", pair.File.ID)
@@ -98,20 +98,20 @@
 }
 
 // check says why a version cannot be applied, "" if it can.
-func (p *process) check(s *rollout.Command) string {
-	if _, err := p.config(s.Target); err != nil {
+func (p *process) checkVersion(s *rollout.Command) string {
+	if _, err := p.configOf(s.Target); err != nil {
 		return err.Error()
 	}
 	return ""
 }
 
 // apply begins to apply what the machine wants applied, or gone back to.
-func (p *process) apply(s *rollout.Command) {
+func (p *process) applyVersion(s *rollout.Command) {
 	p.appliedStep = p.machine.HandleApplied
 	if s.Action == rollout.ActionRollBack {
 		p.appliedStep = p.machine.HandleRolledBack
 	}
-	c, err := p.config(s.Target)
+	c, err := p.configOf(s.Target)
 	if err == nil {
 		err = p.prepareProcess(c)
 	}
@@ -131,7 +131,7 @@
 	go func() {
 		err := errors.New("the daemon ends")
 		done := make(chan struct{})
-		if to.Loop.Post(func() { err = to.apply(c); close(done) }) {
+		if to.Loop.Post(func() { err = to.applyConfig(c); close(done) }) {
 			<-done
 		}
 		p.post(func() { p.onApplied(err) })
@@ -140,7 +140,7 @@
 
 // onApplied notifies the machine how applying a version has ended.
 func (p *process) onApplied(err error) {
-	if err != nil && p.stop.Err() != nil {
+	if err != nil && p.stopContext.Err() != nil {
 		return // what failed may be the process's own end: it is held against nothing (leave)
 	}
 	reason := ""
@@ -151,7 +151,7 @@
 	done := p.appliedStep
 	p.appliedStep = nil
 	p.carryOut(done(now(), reason))
-	if c, err := p.config(first(p.machine.Running())); err == nil {
+	if c, err := p.configOf(first(p.machine.Running())); err == nil {
 		p.machine.UpdateSettings(machineSettings(&c.Control, 0))
 		p.followService(c)
 	}
--- a/internal/daemon/rollout_state.go
+++ b/internal/daemon/rollout_state.go
@@ -181,7 +181,7 @@
 func (p *process) stopVersioning() {
 	p.stopFollowing()
 	p.saving.Wait()
-	if p.cache == nil || p.stop.Err() == nil || p.machine.PersistentState().Unconfirmed == nil {
+	if p.cache == nil || p.stopContext.Err() == nil || p.machine.PersistentState().Unconfirmed == nil {
 		return
 	}
 	p.machine.ForgiveLastAttempt()
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -111,7 +111,7 @@
 `, "ADDRS", addrs(a))
 	k := dial(t, "tcp", addr)
 	plan := webapp.Plan{Header: map[string][]string{"Server": {"x"}, "Cache-Control": {"public"}, "X-Kept": {"1", "2"}}}
-	resp, _ := k.ask(t, "GET /cards/../cards/7?q=1 HTTP/1.1\r\nHost: outside\r\nCookie: c\r\nX-Via: client\r\nX-Hop: 1\r\nTraceparent: 00-1-2-01\r\n"+
+	resp, _ := k.request(t, "GET /cards/../cards/7?q=1 HTTP/1.1\r\nHost: outside\r\nCookie: c\r\nX-Via: client\r\nX-Hop: 1\r\nTraceparent: 00-1-2-01\r\n"+
 		"X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Expires-In-Ms: 5000\r\nConnection: x-own\r\nX-Own: 1\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
 	var got webapp.Got
 	if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
@@ -142,7 +142,7 @@
 			`X-Forwarded-For: ["6.6.6.6, 127.0.0.1"]; X-Forwarded-Host: ["h:1"]; X-Forwarded-Proto: ["http"]`},
 	} {
 		_, addr := routed(t, eight+tc.edits, "ADDRS", addrs(a))
-		resp, _ := dial(t, "tcp", addr).ask(t, "GET / HTTP/1.1\r\nHost: h:1\r\nX-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\n\r\n")
+		resp, _ := dial(t, "tcp", addr).request(t, "GET / HTTP/1.1\r\nHost: h:1\r\nX-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\n\r\n")
 		var got webapp.Got
 		if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
 			t.Fatal(err)
@@ -169,7 +169,7 @@
 		a, b := newApp(t, nil), newApp(t, nil)
 		_, addr := routed(t, eight, "ADDRS", addrs(a, b))
 		plan := webapp.Plan{Status: tc.status, Header: tc.header, Body: 5}
-		resp, body := dial(t, "tcp", addr).ask(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
+		resp, body := dial(t, "tcp", addr).request(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
 		if n := a.Asked() + b.Asked(); resp.StatusCode != tc.status || resp.Header.Get("Proxy-Status") != "" || len(body) != 5 ||
 			resp.Header.Get("Retry-After") != tc.header.Get("Retry-After") || n != tc.tries {
 			t.Errorf("%s %d: %s %v %q after %d tries, want %d", tc.method, tc.status, resp.Status, resp.Header, body, n, tc.tries)
@@ -238,7 +238,7 @@
 	first := start(t, c)
 	k := dial(t, "tcp", c.Listeners[0].Address)
 	for _, path := range []string{"/listed/1", "/file/1", "/listed/2", "/file/2"} {
-		if resp, _ := k.ask(t, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		if resp, _ := k.request(t, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Fatalf("%s: %s", path, resp.Status)
 		}
 	}
@@ -263,7 +263,7 @@
 		t.Errorf("the file's list is the old process's: %+v", p.Endpoints)
 	}
 	for range 4 {
-		if resp, _ := k.ask(t, "GET /file/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		if resp, _ := k.request(t, "GET /file/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Errorf("the kept connection: %s", resp.Status)
 		}
 	}
@@ -286,8 +286,8 @@
 	k := dial(t, "tcp", addr)
 	asks := func(path string, want int) {
 		t.Helper()
-		for _, k := range []*link{k, dial(t, "tcp", addr)} {
-			if resp, _ := k.ask(t, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != want {
+		for _, k := range []*clientConn{k, dial(t, "tcp", addr)} {
+			if resp, _ := k.request(t, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != want {
 				t.Errorf("%s: %s, want %d", path, resp.Status, want)
 			}
 		}
--- a/internal/daemon/spent_test.go
+++ b/internal/daemon/spent_test.go
@@ -38,7 +38,7 @@
 		Name:    "instance-1",
 		Members: []peers.Member{{Name: "instance-2", Address: "127.0.0.1:7", Alive: true, Since: time.Unix(1_700_000_000, 0).UTC()}},
 		Fleet:   words.View{Active: true, Allocator: "instance-1"},
-		Words:   peers.Stats{Sent: 1, Received: 2, Bytes: 3, Dropped: 4, Malformed: 5},
+		Gossip:  peers.Stats{Sent: 1, Received: 2, Bytes: 3, Dropped: 4, Malformed: 5},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -14,12 +14,12 @@
 
 // ReceiveOffer takes the listening sockets that are offered.
 func (l *lifecycle) ReceiveOffer(m takeover.Message) {
-	if err := json.Unmarshal(m.Payload, &l.received); err != nil {
+	if err := json.Unmarshal(m.Payload, &l.offer); err != nil {
 		l.log.Warn("offer rejected", "error", err)
-		l.received = offer{}
+		l.offer = offer{}
 	}
 	for i, file := range m.Files {
-		if l.received.Takeover && i == len(m.Files)-1 {
+		if l.offer.Takeover && i == len(m.Files)-1 {
 			listener, err := takeover.FromFile(file)
 			if err != nil {
 				l.log.Warn("successor socket not adopted", "error", err)
@@ -34,13 +34,13 @@
 		}
 		l.offeredListeners = append(l.offeredListeners, listener)
 	}
-	l.received.Listeners = l.received.Listeners[:min(len(l.received.Listeners), len(l.offeredListeners))]
+	l.offer.Listeners = l.offer.Listeners[:min(len(l.offer.Listeners), len(l.offeredListeners))]
 }
 
 // StartWithOffer starts all but accepting, with the sockets and the snapshot that were offered.
 func (l *lifecycle) StartWithOffer() error {
 	var names []string
-	for i, name := range l.received.Listeners {
+	for i, name := range l.offer.Listeners {
 		if l.offeredListeners[i] == nil {
 			name = "" // cannot be used
 		}
@@ -49,11 +49,11 @@
 	if err := l.listen(l.stop, l.offeredListeners, names, 0); err != nil {
 		return err
 	}
-	state := l.decodeState(l.received.State, "at the start")
+	state := l.decodeState(l.offer.State, "at the start")
 	if state != nil {
 		l.resumeWatches(state.Snapshot)
 	}
-	l.generation.start()
+	l.generation.startBackground()
 	l.restore(state, "at the start")
 	return nil
 }
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -22,7 +22,7 @@
 )
 
 // succeed starts another daemon that takes over, and waits until it accepts and the old one has ended.
-func succeed(t *testing.T, old *running, c *options) *running {
+func restart(t *testing.T, old *running, c *options) *running {
 	t.Helper()
 	next := start(t, c.config)
 	if err := scriptedpeer.Within(t, old.ended, "end of the old one"); err != nil {
@@ -32,11 +32,11 @@
 }
 
 // desk is a client that asks steadily and must lose nothing.
-func desk(addr string, rate float64, length time.Duration, done func(client.Result)) *client.Client {
-	return client.New(deskOptions(addr, rate, length, done))
+func steadyClient(addr string, rate float64, length time.Duration, done func(client.Result)) *client.Client {
+	return client.New(steadyClientOptions(addr, rate, length, done))
 }
 
-func deskOptions(addr string, rate float64, length time.Duration, done func(client.Result)) client.Options {
+func steadyClientOptions(addr string, rate float64, length time.Duration, done func(client.Result)) client.Options {
 	return client.Options{Name: "desk", Network: "tcp", Addr: addr, Tenant: "acme", Rate: rate, For: length, Seed: 3,
 		OnDone: done, Classes: []client.Class{
 			{Name: "look", Share: 0.7, Method: "GET", Wait: time.Second},
@@ -64,13 +64,13 @@
 			return endpoint.None
 		})
 	}
-	for _, k := range []*link{atRest, unix} {
-		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	for _, k := range []*clientConn{atRest, unix} {
+		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Fatal(resp.Status)
 		}
 	}
 	var lost atomic.Int32
-	load := desk(addr, 400, 2*time.Second, func(r client.Result) {
+	load := steadyClient(addr, 400, 2*time.Second, func(r client.Result) {
 		if r.Verdict != client.Served {
 			lost.Add(1)
 			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
@@ -96,9 +96,9 @@
 	if err := scriptedpeer.Within(t, d.ended, "end of the first"); err != nil {
 		t.Error(err)
 	}
-	third := succeed(t, second, c)
-	for name, k := range map[string]*link{"at rest": atRest, "unix": unix, "in use": inUse} {
-		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	third := restart(t, second, c)
+	for name, k := range map[string]*clientConn{"at rest": atRest, "unix": unix, "in use": inUse} {
+		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Errorf("the connection %s, two processes later: %s", name, resp.Status)
 		}
 	}
@@ -117,7 +117,7 @@
 }
 
 // One that gives on before its own giver is done, and ends, does not make that one serve again beside the last.
-func TestGivenOnWhileHandingOver(t *testing.T) {
+func TestSuccessorHandsOverBeforeItsPredecessorIsDone(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{})
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
 	for _, e := range w.endpoints {
@@ -142,7 +142,7 @@
 		t.Error(err)
 	}
 	for range 20 {
-		if resp, _ := dial(t, "tcp", addr).ask(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
 			t.Errorf("%s, close %v", resp.Status, resp.Close)
 		}
 	}
@@ -178,7 +178,7 @@
 }
 
 // A new process that fails its start is told so, and the old one goes on as if nothing had been.
-func TestTakerThatFails(t *testing.T) {
+func TestSuccessorThatFailsToStart(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	c := w.config(t, "127.0.0.1:0", freeAddr(t))
 	d := start(t, c)
@@ -192,11 +192,11 @@
 		t.Errorf("the new one: %v", err)
 	}
 	d.stillServes(t, k)
-	succeed(t, d, &options{c})
+	restart(t, d, &options{c})
 }
 
 // stillServes checks that a daemon serves on its old connections and on new ones, on all its listeners.
-func (r *running) stillServes(t *testing.T, old ...*link) {
+func (r *running) stillServes(t *testing.T, old ...*clientConn) {
 	t.Helper()
 	scriptedpeer.Eventually(t, "no takeover", func() bool {
 		c, err := takeover.Dial(r.options.Config.Takeover.Socket)
@@ -210,7 +210,7 @@
 		return err == nil && m.Kind == decide.Offer
 	})
 	for _, k := range append(old, dial(t, "tcp", r.addrs["desk"]), dial(t, "unix", r.addrs["local"])) {
-		if resp, _ := k.ask(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
 			t.Errorf("%s, close %v", resp.Status, resp.Close)
 		}
 	}
@@ -222,24 +222,24 @@
 }
 
 // taking is a taker written by hand.
-type taking struct {
+type scriptedSuccessor struct {
 	*testing.T
 	*takeover.Conn
 }
 
-func take(t *testing.T, path string) *taking {
+func connectAsSuccessor(t *testing.T, path string) *scriptedSuccessor {
 	t.Helper()
 	c, err := takeover.Dial(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	k := &taking{t, c}
-	k.say(decide.Hello, fmt.Sprint(decide.Version))
+	k := &scriptedSuccessor{t, c}
+	k.send(decide.Hello, fmt.Sprint(decide.Version))
 	return k
 }
 
-func (k *taking) say(kind decide.Event, text string) {
+func (k *scriptedSuccessor) send(kind decide.Event, text string) {
 	k.Helper()
 	if err := k.Write(takeover.Message{Kind: kind, Payload: []byte(text)}); err != nil {
 		k.Fatal(err)
@@ -247,7 +247,7 @@
 }
 
 // hear waits for a message of a kind, passing connections over.
-func (k *taking) hear(kind decide.Event) takeover.Message {
+func (k *scriptedSuccessor) expect(kind decide.Event) takeover.Message {
 	k.Helper()
 	for {
 		m, err := k.Read()
@@ -266,39 +266,39 @@
 
 // A new process that hangs before it is ready, is killed at any moment, or speaks another version, leaves the old
 // one as it was.
-func TestTakerThatIsLost(t *testing.T) {
+func TestSuccessorIsLost(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		do   func(k *taking)
+		do   func(k *scriptedSuccessor)
 	}{
-		{"killed at once", func(k *taking) { k.Close() }},
-		{"killed before it is ready", func(k *taking) { k.hear(decide.Offer); k.Close() }},
-		{"hangs before it is ready", func(k *taking) {
-			k.hear(decide.Offer)
-			if m := k.hear(decide.Rejected); !strings.Contains(string(m.Payload), "not ready in time") {
+		{"killed at once", func(k *scriptedSuccessor) { k.Close() }},
+		{"killed before it is ready", func(k *scriptedSuccessor) { k.expect(decide.Offer); k.Close() }},
+		{"hangs before it is ready", func(k *scriptedSuccessor) {
+			k.expect(decide.Offer)
+			if m := k.expect(decide.Rejected); !strings.Contains(string(m.Payload), "not ready in time") {
 				k.Errorf("told %q", m.Payload)
 			}
 		}},
-		{"killed once ready", func(k *taking) { k.hear(decide.Offer); k.say(decide.Ready, ""); k.Close() }},
-		{"killed while nobody accepts", func(k *taking) {
-			k.hear(decide.Offer)
-			k.say(decide.Ready, "")
-			k.hear(decide.Handover)
+		{"killed once ready", func(k *scriptedSuccessor) { k.expect(decide.Offer); k.send(decide.Ready, ""); k.Close() }},
+		{"killed while nobody accepts", func(k *scriptedSuccessor) {
+			k.expect(decide.Offer)
+			k.send(decide.Ready, "")
+			k.expect(decide.Handover)
 			k.Close()
 		}},
-		{"killed as all is its own", func(k *taking) {
-			k.hear(decide.Offer)
-			k.say(decide.Ready, "")
-			k.hear(decide.Handover)
-			k.say(decide.Prepared, "")
-			k.hear(decide.Activate)
+		{"killed as all is its own", func(k *scriptedSuccessor) {
+			k.expect(decide.Offer)
+			k.send(decide.Ready, "")
+			k.expect(decide.Handover)
+			k.send(decide.Prepared, "")
+			k.expect(decide.Activate)
 			k.Close()
 		}},
-		{"says no", func(k *taking) { k.hear(decide.Offer); k.say(decide.Rejected, "no room"); k.Close() }},
-		{"talks out of turn", func(k *taking) {
-			k.hear(decide.Offer)
+		{"says no", func(k *scriptedSuccessor) { k.expect(decide.Offer); k.send(decide.Rejected, "no room"); k.Close() }},
+		{"talks out of turn", func(k *scriptedSuccessor) {
+			k.expect(decide.Offer)
 			for _, e := range []decide.Event{decide.Prepared, decide.Activate, decide.Stopping, 77, decide.Hello} {
-				k.say(e, "nonsense")
+				k.send(e, "nonsense")
 			}
 			k.Close()
 		}},
@@ -308,7 +308,7 @@
 			c := w.config(t, "127.0.0.1:0", freeAddr(t), `ready_within = "5s"`, `ready_within = "300ms"`)
 			d := start(t, c)
 			busy := dial(t, "tcp", d.addrs["desk"])
-			if resp, _ := busy.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			if resp, _ := busy.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 				t.Fatal(resp.Status)
 			}
 			held, hold := make(chan struct{}, 1), make(chan struct{})
@@ -323,13 +323,13 @@
 				t.Fatal(err)
 			}
 			scriptedpeer.Within(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
-			tc.do(take(t, c.Takeover.Socket))
+			tc.do(connectAsSuccessor(t, c.Takeover.Socket))
 			close(hold)
 			if resp, _ := busy.answer(t); resp.StatusCode != 200 {
 				t.Errorf("the request that was open: %s", resp.Status)
 			}
 			d.stillServes(t, busy)
-			succeed(t, d, &options{w.config(t, "127.0.0.1:0", c.Listeners[0].Address)})
+			restart(t, d, &options{w.config(t, "127.0.0.1:0", c.Listeners[0].Address)})
 		})
 	}
 	t.Run("says nothing", func(t *testing.T) {
@@ -339,17 +339,17 @@
 		for range 3 {
 			defer must(takeover.Dial(c.Takeover.Socket)).Close()
 		}
-		succeed(t, d, &options{c})
+		restart(t, d, &options{c})
 	})
 	t.Run("another version", func(t *testing.T) {
 		w := newWorld(t, 1, endpoint.Options{})
 		d := start(t, w.config(t))
-		k := take(t, d.options.Config.Takeover.Socket)
-		k.hear(decide.Offer)
-		other := &taking{t, must(takeover.Dial(d.options.Config.Takeover.Socket))}
+		k := connectAsSuccessor(t, d.options.Config.Takeover.Socket)
+		k.expect(decide.Offer)
+		other := &scriptedSuccessor{t, must(takeover.Dial(d.options.Config.Takeover.Socket))}
 		defer other.Close()
-		other.say(decide.Hello, fmt.Sprint(decide.Version))
-		if m := other.hear(decide.Rejected); !strings.Contains(string(m.Payload), "under way") {
+		other.send(decide.Hello, fmt.Sprint(decide.Version))
+		if m := other.expect(decide.Rejected); !strings.Contains(string(m.Payload), "under way") {
 			t.Errorf("a second taker was told %q", m.Payload)
 		}
 		k.Close()
@@ -377,13 +377,13 @@
 }
 
 // giving is a giver written by hand: it listens for takers and for clients.
-type giving struct {
-	*taking
+type scriptedPredecessor struct {
+	*scriptedSuccessor
 	ln *takeover.Listener
 }
 
 // give listens as a giver would and waits for a taker.
-func give(t *testing.T, path string, took func()) *giving {
+func actAsPredecessor(t *testing.T, path string, took func()) *scriptedPredecessor {
 	t.Helper()
 	ln, err := takeover.Listen(path)
 	if err != nil {
@@ -399,19 +399,19 @@
 	took()
 	c := scriptedpeer.Within(t, got, "taker")
 	t.Cleanup(func() { c.Close() })
-	g := &giving{&taking{t, c}, ln}
-	g.hear(decide.Hello)
+	g := &scriptedPredecessor{&scriptedSuccessor{t, c}, ln}
+	g.expect(decide.Hello)
 	return g
 }
 
 // A snapshot that is truncated, spoilt, of another version, another configuration or another discovery is refused
 // as far as it does not fit, and the new process serves all the same, with what discovery tells it.
-func TestSnapshotsThatDoNotFit(t *testing.T) {
+func TestSnapshotsThatDoNotMatch(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	d := start(t, w.config(t))
 	k := dial(t, "tcp", d.addrs["desk"])
 	for range 20 {
-		k.ask(t, request("look", 900, ""))
+		k.request(t, request("look", 900, ""))
 	}
 	state := func(edit func(*takeover.State)) []byte {
 		s := &takeover.State{TakenAt: takeover.Monotonic(), Snapshot: d.core.Snapshot()}
@@ -450,25 +450,25 @@
 		{"from the future", state(func(s *takeover.State) { s.TakenAt += 3600_000_000 }), true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			w := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			w := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 			c := w.config(t)
 			var next *running
 			var serving <-chan map[string]string
-			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
-			g.say(decide.Offer, `{"State":"`+base64(tc.state)+`"}`)
-			g.hear(decide.Ready)
+			g := actAsPredecessor(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
+			g.send(decide.Offer, `{"State":"`+base64(tc.state)+`"}`)
+			g.expect(decide.Ready)
 			if err := g.Write(takeover.Message{Kind: decide.Handover, Payload: tc.state}); err != nil {
 				t.Fatal(err)
 			}
-			g.hear(decide.Prepared)
-			g.say(decide.Activate, "")
+			g.expect(decide.Prepared)
+			g.send(decide.Activate, "")
 			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
 			s := next.core.Snapshot().Pools[0]
 			known := len(s.Learned.Endpoints) == 1 && len(s.Learned.Endpoints[0].BreakerWindow) > 0
 			if known != tc.taken {
 				t.Errorf("known afterwards: %v, want %v", known, tc.taken)
 			}
-			if resp, body := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+			if resp, body := dial(t, "tcp", next.addrs["desk"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 				t.Errorf("it answers %s: %s", resp.Status, body)
 			}
 		})
@@ -476,52 +476,52 @@
 }
 
 // What a giver does out of order or not at all, a taker survives or gives up, and never accepts before its turn.
-func TestGiverThatIsLost(t *testing.T) {
+func TestPredecessorIsLost(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	for _, tc := range []struct {
 		name   string
-		do     func(g *giving)
+		do     func(g *scriptedPredecessor)
 		serves bool
 	}{
-		{"killed before it offers", func(g *giving) { g.ln.Close(); g.Close() }, true},
-		{"killed after it has offered", func(g *giving) { g.say(decide.Offer, "{}"); g.Close() }, true},
-		{"killed before it lets go", func(g *giving) { g.say(decide.Offer, "{}"); g.hear(decide.Ready); g.Close() }, true},
-		{"killed before its last word", func(g *giving) {
-			g.say(decide.Offer, "{}")
-			g.hear(decide.Ready)
-			g.say(decide.Handover, "")
-			g.hear(decide.Prepared)
+		{"killed before it offers", func(g *scriptedPredecessor) { g.ln.Close(); g.Close() }, true},
+		{"killed after it has offered", func(g *scriptedPredecessor) { g.send(decide.Offer, "{}"); g.Close() }, true},
+		{"killed before it lets go", func(g *scriptedPredecessor) { g.send(decide.Offer, "{}"); g.expect(decide.Ready); g.Close() }, true},
+		{"killed before its last word", func(g *scriptedPredecessor) {
+			g.send(decide.Offer, "{}")
+			g.expect(decide.Ready)
+			g.send(decide.Handover, "")
+			g.expect(decide.Prepared)
 			g.Close()
 		}, true},
-		{"told to stop meanwhile", func(g *giving) {
-			g.say(decide.Offer, "{}")
-			g.say(decide.Handover, "")
-			g.hear(decide.Prepared)
-			g.say(decide.Activate, "")
-			g.say(decide.Done, "")
+		{"told to stop meanwhile", func(g *scriptedPredecessor) {
+			g.send(decide.Offer, "{}")
+			g.send(decide.Handover, "")
+			g.expect(decide.Prepared)
+			g.send(decide.Activate, "")
+			g.send(decide.Done, "")
 		}, true},
-		{"says no", func(g *giving) { g.say(decide.Rejected, "another takeover is under way") }, false},
-		{"says no late", func(g *giving) {
-			g.say(decide.Offer, "{}")
-			g.hear(decide.Ready)
-			g.say(decide.Handover, "")
-			g.hear(decide.Prepared)
-			g.say(decide.Rejected, "no answer in time")
+		{"says no", func(g *scriptedPredecessor) { g.send(decide.Rejected, "another takeover is under way") }, false},
+		{"says no late", func(g *scriptedPredecessor) {
+			g.send(decide.Offer, "{}")
+			g.expect(decide.Ready)
+			g.send(decide.Handover, "")
+			g.expect(decide.Prepared)
+			g.send(decide.Rejected, "no answer in time")
 		}, false},
-		{"offers nonsense", func(g *giving) {
-			g.say(decide.Offer, "}")
-			g.hear(decide.Ready)
-			g.say(decide.Handover, "nonsense")
-			g.hear(decide.Prepared)
-			g.say(decide.Activate, "")
+		{"offers nonsense", func(g *scriptedPredecessor) {
+			g.send(decide.Offer, "}")
+			g.expect(decide.Ready)
+			g.send(decide.Handover, "nonsense")
+			g.expect(decide.Prepared)
+			g.send(decide.Activate, "")
 		}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			w := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			w := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 			c := w.config(t)
 			var next *running
 			var serving <-chan map[string]string
-			g := give(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
+			g := actAsPredecessor(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
 			tc.do(g)
 			if !tc.serves {
 				if err := scriptedpeer.Within(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
@@ -534,7 +534,7 @@
 			}
 			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
 			scriptedpeer.Eventually(t, "answers", func() bool {
-				resp, _ := dial(t, "tcp", next.addrs["desk"]).ask(t, request("look", 900, ""))
+				resp, _ := dial(t, "tcp", next.addrs["desk"]).request(t, request("look", 900, ""))
 				return resp.StatusCode == 200
 			})
 		})
@@ -547,32 +547,32 @@
 	c := w.config(t, "127.0.0.1:0", freeAddr(t))
 	d := start(t, c)
 	atRest := dial(t, "tcp", d.addrs["desk"])
-	if resp, _ := atRest.ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := atRest.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Fatal(resp.Status)
 	}
 	// A taker by hand, slow to become ready; it then passes on what it heard to a real one, as nobody else may.
-	k := take(t, c.Takeover.Socket)
-	k.hear(decide.Offer)
+	k := connectAsSuccessor(t, c.Takeover.Socket)
+	k.expect(decide.Offer)
 	d.stop()
-	k.hear(decide.Handover)
+	k.expect(decide.Handover)
 	waiting := dial(t, "tcp", d.addrs["desk"]) // nobody accepts it yet
 	if _, err := io.WriteString(waiting, request("look", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
-	k.say(decide.Prepared, "")
-	k.hear(decide.Activate)
+	k.send(decide.Prepared, "")
+	k.expect(decide.Activate)
 	m, err := k.Read()
 	if err != nil || m.Kind != takeover.ConnectionHandedOver || len(m.Files) != 1 {
 		t.Errorf("the connection at rest: %v, %d files, %v", m.Kind, len(m.Files), err)
 	}
 	m.CloseFiles()
-	k.hear(decide.Done)
+	k.expect(decide.Done)
 	if err := scriptedpeer.Within(t, d.ended, "end of the old one"); err != nil {
 		t.Error(err)
 	}
 
 	// SIGTERM to the new one before it serves leaves the old one as it was.
-	w2 := &world{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+	w2 := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 	c = w2.config(t, "127.0.0.1:0", freeAddr(t))
 	d = start(t, c)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -591,12 +591,12 @@
 
 // While both are alive a cold endpoint gets no more than from one alone, and one that drains gets nothing past the
 // grace from either.
-func TestTwoAliveAtOnce(t *testing.T) {
+func TestWarmUpBudgetIsNotSpentTwice(t *testing.T) {
 	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 3 * time.Millisecond}})
 	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
 	d := start(t, c.config)
 	addr := d.addrs["desk"]
-	load := desk(addr, 500, 3*time.Second, nil)
+	load := steadyClient(addr, 500, 3*time.Second, nil)
 	report := make(chan client.Report, 1)
 	go func() { report <- load.Run(context.Background()) }()
 	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 300 })
@@ -606,7 +606,7 @@
 	drained.Lifecycle = "draining"
 	w.roster.Set(cold, drained)
 	told := time.Now()
-	next := succeed(t, d, c)
+	next := restart(t, d, c)
 	r := scriptedpeer.Within(t, report, "report")
 	if r.By[client.Served] < r.Asked*95/100 {
 		t.Errorf("%d asked, %v", r.Asked, r.By)
@@ -631,7 +631,7 @@
 }
 
 // The new process of one that was killed starts cold, at its own pace, on the sockets that were left behind.
-func TestOldOneKilled(t *testing.T) {
+func TestPredecessorKilledBefore(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	c := w.config(t)
 	// What a killed process leaves: sockets at whose paths nobody listens.
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -21,7 +21,7 @@
 )
 
 // managed returns the edits of a world's file that have versions come from a service; more are edits of its table control.
-func (w *world) managed(addr, node string, more ...string) []string {
+func (w *testFleet) managed(addr, node string, more ...string) []string {
 	// Aims far beyond what a busy computer makes of these loads: what is worse here is so by what a version says.
 	return []string{"127.0.0.1:0", addr, `aim = "500ms"`, `aim = "2s"`, `give_up = "1s"`, `give_up = "10s"`, "[connections]", strings.NewReplacer(more...).Replace(`[control]
 address = "` + w.steward.Address + `"
@@ -38,7 +38,7 @@
 }
 
 // withSteward gives a world a control service.
-func (w *world) withSteward(t *testing.T) *xdsserver.Server {
+func (w *testFleet) withSteward(t *testing.T) *xdsserver.Server {
 	t.Helper()
 	var err error
 	if w.steward, err = xdsserver.Start(xdsserver.Options{}); err != nil {
@@ -63,7 +63,7 @@
 	got := make(chan string, 1)
 	r.process.post(func() {
 		pair, _ := r.process.machine.Running()
-		c, _ = r.process.config(pair)
+		c, _ = r.process.configOf(pair)
 		got <- pair.String()
 	})
 	return scriptedpeer.Within(t, got, "what runs"), c
@@ -87,7 +87,7 @@
 
 // steady is a client that asks all the time until its end is asked for; then all that it asked must be served.
 func steady(t *testing.T, name, addr string, rate float64) (end func() client.Report) {
-	o := deskOptions(addr, rate, time.Hour, nil)
+	o := steadyClientOptions(addr, rate, time.Hour, nil)
 	o.Name = name
 	for i := range o.Classes {
 		o.Classes[i].Wait = 8 * time.Second
@@ -179,7 +179,7 @@
 
 // The last good version starts an instance while its service is away; what is spoilt or does not fit is passed over, and the
 // file serves alone.
-func TestBeginsWithTheLastGood(t *testing.T) {
+func TestStartsWithTheLastKnownGood(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
 	addr := freeAddr(t)
@@ -206,7 +206,7 @@
 		if runs, c := d.runs(t); runs != version || c.Attempts.Most != most {
 			t.Errorf("%s: %s runs, attempts.most %d", what, runs, c.Attempts.Most)
 		}
-		if resp, _ := dial(t, "tcp", addr).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+		if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Errorf("%s: %s", what, resp.Status)
 		}
 		stop(d)
@@ -271,8 +271,8 @@
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
-	k := take(t, w.dir+"/takeover.sock")
-	k.hear(decide.Offer)
+	k := connectAsSuccessor(t, w.dir+"/takeover.sock")
+	k.expect(decide.Offer)
 	set(t, s, "1", tries(2), nil)
 	set(t, s, "2", tries(3), nil)
 	if runs, _ := d.runs(t); runs != "file 1" {
@@ -324,7 +324,7 @@
 }
 
 // A process that is killed while it tries a version begins with the last good one; after two such the version is refused.
-func TestKilledWhileTrying(t *testing.T) {
+func TestKilledOnTrial(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
 	addr := freeAddr(t)
@@ -344,7 +344,7 @@
 	p := spawn(t, "daemon", w.file(edits...))
 	scriptedpeer.Within(t, p.lines, "a daemon that serves")
 	eventually(t, s, "1", "refused: 2 processes ended while they tried version 1")
-	if resp, _ := dial(t, "tcp", addr).ask(t, request("look", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Error(resp.Status)
 	}
 	set(t, s, "2", tries(3), nil)
@@ -358,7 +358,7 @@
 }
 
 // runFleet has twenty instances serve while a control service sends versions, wave by wave, or none.
-func runFleet(t *testing.T, changes func(w *world, s *xdsserver.Server, nodes []string)) fleet {
+func runFleet(t *testing.T, changes func(w *testFleet, s *xdsserver.Server, nodes []string)) fleet {
 	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	s := w.withSteward(t)
 	var nodes []string
@@ -407,7 +407,7 @@
 	rand.New(rand.NewPCG(5, 5)).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	t.Log(order)
 	began := time.Now()
-	with := runFleet(t, func(w *world, s *xdsserver.Server, nodes []string) {
+	with := runFleet(t, func(w *testFleet, s *xdsserver.Server, nodes []string) {
 		bad := 0
 		said := func(version, text string, by []string) {
 			t.Helper()
@@ -448,7 +448,7 @@
 		}
 	})
 	length := time.Since(began)
-	without := runFleet(t, func(*world, *xdsserver.Server, []string) { time.Sleep(length) })
+	without := runFleet(t, func(*testFleet, *xdsserver.Server, []string) { time.Sleep(length) })
 	a, b := float64(with.served)/float64(with.asked), float64(without.served)/float64(without.asked)
 	t.Logf("%v: with versions %d of %d served, longest gap %v; without %d of %d, %v", length, with.served, with.asked, with.gap, without.served, without.asked, without.gap)
 	if a < b-0.01 || with.failed > without.failed+2 {
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -27,7 +27,7 @@
 				return false
 			}
 		}
-		for _, h := range d.clients.held() {
+		for _, h := range d.clients.usage() {
 			if h.Open != 0 || h.Bytes != 0 {
 				return false
 			}
@@ -105,7 +105,7 @@
 			t.Errorf("%q: %s, %q, close %v, %q, %v", tc.text, resp.Status, resp.Header["Proxy-Status"], resp.Close, body, err)
 		}
 		if !tc.last { // it serves another
-			if resp, _ := k.ask(t, "GET /a/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+			if resp, _ := k.request(t, "GET /a/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 				t.Errorf("%q: the next is answered %s", tc.text, resp.Status)
 			}
 		}
@@ -272,7 +272,7 @@
 		d.settled(t)
 	}
 	for range 20 {
-		if resp, _ := dial(t, "tcp", addr).ask(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		if resp, _ := dial(t, "tcp", addr).request(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Errorf("afterwards: %s", resp.Status)
 		}
 	}
@@ -311,7 +311,7 @@
 		}
 	}()
 	for range 10 {
-		if resp, _ := dial(t, "tcp", addr).ask(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+		if resp, _ := dial(t, "tcp", addr).request(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Errorf("beside it: %s", resp.Status)
 		}
 	}
@@ -379,7 +379,7 @@
 	for _, plan := range []webapp.Plan{{Body: 300_000}, {Body: 300_000, Pieces: 3, Trailer: map[string]string{"X-Sum": "1"}}, {Body: 300_000, Closed: true},
 		{Body: 10, Pieces: 2, Gap: 50 * time.Millisecond}} {
 		k := dial(t, "tcp", addr)
-		resp, body := k.ask(t, "GET / HTTP/1.0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
+		resp, body := k.request(t, "GET / HTTP/1.0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
 		if resp.StatusCode != 200 || len(body) != plan.Body || len(resp.TransferEncoding) > 0 || !resp.Close {
 			t.Errorf("%+v: %s, %d bytes, %v", plan, resp.Status, len(body), resp.TransferEncoding)
 		}
@@ -472,7 +472,7 @@
 	next := strings.Replace(text, "path = \"/one/*\"\npool = \"one\"", "path = \"/one/*\"\npool = \"two\"", 1)
 	next = strings.Replace(next, "[[pool]]\nname = \"one\"\nendpoints = [ONE]", "", 1)
 	d.changed(t, parse(t, next, "TWO", addrs(b)))
-	if resp, _ := dial(t, "tcp", addr).ask(t, "GET /one/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 1 {
+	if resp, _ := dial(t, "tcp", addr).request(t, "GET /one/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 1 {
 		t.Errorf("after the change: %s, %d asked there", resp.Status, b.Asked())
 	}
 	if counts := was.endpoints.Counts(); counts.OpenCalls != 1 {
@@ -482,7 +482,7 @@
 	if got, err := io.ReadAll(resp.Body); err != nil || len(got) != 200_000 {
 		t.Errorf("what streamed: %d bytes, %v", len(got), err)
 	}
-	if resp, _ := k.ask(t, "GET /one/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 2 {
+	if resp, _ := k.request(t, "GET /one/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 2 {
 		t.Errorf("the same connection afterwards: %s", resp.Status)
 	}
 	d.settled(t)
@@ -557,12 +557,12 @@
 		k, beside := dial(t, "tcp", addr), dial(t, "tcp", addr)
 		for i := range requests {
 			// What the breaker turns away is refused; what was tried has the endpoint's own words.
-			resp, _ := k.ask(t, "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, _ := k.request(t, "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n")
 			if resp.StatusCode != 500 && resp.StatusCode != 503 || (resp.StatusCode == 500) != (resp.Header.Get("Proxy-Status") == "") {
 				t.Fatalf("%s, %v", resp.Status, resp.Header)
 			}
 			if i%10 == 0 {
-				if resp, _ := beside.ask(t, "GET /two/1 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
+				if resp, _ := beside.request(t, "GET /two/1 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 					t.Fatalf("the other pool: %s", resp.Status)
 				}
 			}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,18 +24,18 @@
 
 // Config is a sidecar's configuration.
 type Config struct {
-	Name      string
-	Listen    string // where clients connect
-	Discovery string
-	Operator  string // where operators call; "" is nowhere
-	Inherited int    // the descriptor of the clients' listening socket, where the platform holds it; 0 is none
-	Meeting   string // a folder that a new version of this sidecar shares with the old one; "" is none
-	Overload  bool   // what the fleet's overload leaves is decided with the other instances in mind
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int // file descriptors
-	Known     discovery.List
-	Site      siteconfig.Site
+	Name            string
+	Listen          string // where clients connect
+	Discovery       string
+	AdminAddress    string // where operators call; "" is nowhere
+	InheritedFD     int    // the descriptor of the clients' listening socket, where the platform holds it; 0 is none
+	SharedDir       string // a folder that a new version of this sidecar shares with the old one; "" is none
+	OverloadControl bool   // what the fleet's overload leaves is decided with the other instances in mind
+	Seed            uint64
+	MemoryMB        int
+	Sockets         int // file descriptors
+	Known           discovery.List
+	Site            siteconfig.Site
 
 	FileDiscovery string    // as the file alone names it
 	Events        io.Writer // of calls to endpoints and discovery (package eventlog); nil is nowhere
@@ -60,7 +60,7 @@
 )
 
 // LeastSockets is how few descriptors a sidecar may be given.
-const LeastSockets = 64
+const MinSockets = 64
 
 // Read reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
 func Read(getenv func(string) string) (*Config, error) {
@@ -106,12 +106,12 @@
 		Listen:        file.Listen,
 		Discovery:     file.Discovery,
 		FileDiscovery: file.Discovery,
-		Operator:      file.Operator,
+		AdminAddress:  file.Operator,
 		MemoryMB:      defaultMemoryMB,
 		Sockets:       defaultSockets,
 	}
 	for name, to := range map[string]*string{
-		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.Operator} {
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.AdminAddress} {
 		if v := getenv(name); v != "" {
 			*to = v
 		}
@@ -121,8 +121,8 @@
 		if err != nil || fd < 3 {
 			return nil, &ConfigError{"ROUTER_INHERITED_FD", fmt.Errorf("%q is no descriptor from 3 on", v)}
 		}
-		c.Inherited = fd
-		c.Meeting = getenv("TMPDIR")
+		c.InheritedFD = fd
+		c.SharedDir = getenv("TMPDIR")
 	}
 	switch v := getenv("ROUTER_EVENTS"); v {
 	case "", "0":
@@ -133,12 +133,12 @@
 	}
 	switch v := getenv("ROUTER_OVERLOAD"); v {
 	case "", "0", "1":
-		c.Overload = v == "1"
+		c.OverloadControl = v == "1"
 	default:
 		return nil, &ConfigError{"ROUTER_OVERLOAD", fmt.Errorf("%q is neither 0 nor 1", v)}
 	}
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
-		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}, {"operator", cmp.Or(c.Operator, c.Listen)}} {
+		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}, {"operator", cmp.Or(c.AdminAddress, c.Listen)}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return nil, &ConfigError{a.key, err}
 		}
@@ -153,8 +153,8 @@
 		}
 	}
 	if v := file.Limits.Sockets; v != nil {
-		if c.Sockets = *v; *v < LeastSockets {
-			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, LeastSockets)}
+		if c.Sockets = *v; *v < MinSockets {
+			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, MinSockets)}
 		}
 	}
 	// Without a list that was held, the first one that comes names what has long been there: an empty one would
@@ -166,12 +166,12 @@
 	if len(file.Settings) == 0 {
 		return nil, &ConfigError{"settings", errors.New("is missing")}
 	}
-	return c, c.settings(file.Settings)
+	return c, c.parseSettings(file.Settings)
 }
 
 // settings reads the settings twice: as the simulator's text, by the parser that the simulator's host uses,
 // and for the names that only the sockets need.
-func (c *Config) settings(raw json.RawMessage) error {
+func (c *Config) parseSettings(raw json.RawMessage) error {
 	var names struct {
 		Areas   []string `json:"areas"`
 		Skus    []string `json:"skus"`
@@ -256,12 +256,12 @@
 			}
 			words := make([]string, len(v))
 			for i, item := range v {
-				words[i] = plain(item)
+				words[i] = settingsValue(item)
 			}
 			lines = append(lines, path[1:]+"="+strings.Join(words, ","))
 		case nil:
 		default:
-			lines = append(lines, path[1:]+"="+plain(v))
+			lines = append(lines, path[1:]+"="+settingsValue(v))
 		}
 	}
 	walk("", tree)
@@ -270,6 +270,6 @@
 }
 
 // plain writes a value as the text form does, where commas and ends of lines separate.
-func plain(v any) string {
+func settingsValue(v any) string {
 	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_").Replace(fmt.Sprint(v))
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -25,10 +25,10 @@
 
 // serveAdmin listens for operators where the configuration says so.
 func (s *sidecar) serveAdmin() (stop func(), err error) {
-	if s.config.Operator == "" {
+	if s.config.AdminAddress == "" {
 		return func() {}, nil
 	}
-	listener, err := net.Listen("tcp", s.config.Operator)
+	listener, err := net.Listen("tcp", s.config.AdminAddress)
 	if err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
--- a/internal/sidecar/capped_test.go
+++ b/internal/sidecar/capped_test.go
@@ -84,7 +84,7 @@
 				return
 			}
 			defer c.Close()
-			resp, _ := s.askOn(t, c, look(2000))
+			resp, _ := s.requestOn(t, c, look(2000))
 			taken <- resp.StatusCode
 		}()
 		select {
@@ -96,7 +96,7 @@
 		}
 	}
 	for range 40 {
-		if resp, text := s.ask(t, look(900)); resp.StatusCode != 200 || text != "other" {
+		if resp, text := s.request(t, look(900)); resp.StatusCode != 200 || text != "other" {
 			t.Fatalf("%s by %q: a full endpoint should cost nobody an answer", resp.Status, text)
 		}
 	}
@@ -112,7 +112,7 @@
 	close(hold)
 	before := ln.refused.Load()
 	for atCapped.Load() < 5 {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 			t.Fatalf("%s", resp.Status)
 		}
 	}
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -40,7 +40,7 @@
 // saveCordons writes the cordons down. A failure is logged, and no reason to reject the call: they hold here, and are
 // handed over.
 func (s *sidecar) saveCordons(ctx context.Context) {
-	if s.config.Meeting == "" {
+	if s.config.SharedDir == "" {
 		return
 	}
 	s.cordonsFileMu.Lock()
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(s.config.Meeting, cordonsFile)
+	path := filepath.Join(s.config.SharedDir, cordonsFile)
 	temporary := fmt.Sprintf("%s.%d", path, os.Getpid())
 	if err := os.WriteFile(temporary, encoded, 0o600); err != nil {
 		return err
@@ -70,10 +70,10 @@
 
 // readCordons returns the cordons that another process of this sidecar has written.
 func (s *sidecar) readCordons() []cordon.Record {
-	if s.config.Meeting == "" {
+	if s.config.SharedDir == "" {
 		return nil
 	}
-	file, err := os.Open(filepath.Join(s.config.Meeting, cordonsFile))
+	file, err := os.Open(filepath.Join(s.config.SharedDir, cordonsFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -44,7 +44,7 @@
 		// The list has arrived once requests go where they should.
 		var got string
 		for end := time.Now().Add(scriptedpeer.Soon); ; {
-			if _, got = s.ask(t, look(900)); got == step.want || time.Now().After(end) {
+			if _, got = s.request(t, look(900)); got == step.want || time.Now().After(end) {
 				break
 			}
 			if step.want == "" && got != "one" && got != "two" && got != "three" {
@@ -57,7 +57,7 @@
 		}
 		for range 10 {
 			// A new endpoint counts as cold, and may be spared.
-			_, got = s.ask(t, look(900))
+			_, got = s.request(t, look(900))
 			if step.want != "" && got != step.want && !strings.HasPrefix(got, "refused") {
 				t.Fatalf("step %d: then answered by %q, want %q", i, got, step.want)
 			}
@@ -69,13 +69,13 @@
 func TestKnownListServes(t *testing.T) {
 	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
 	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
-	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("with a known list and no discovery: %s", resp.Status)
 	}
 }
 
 // Where discovery is asked, the balancer asks for each watch and hears of one that fails.
-func TestAskedDiscovery(t *testing.T) {
+func TestPolledDiscovery(t *testing.T) {
 	b := scripteddiscovery.New(t)
 	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
 	s := start(t, configure(t, b.Addr, []discovery.Instance{scripteddiscovery.Up("s-1", scriptedpeer.Nowhere(t))},
@@ -85,7 +85,7 @@
 	scriptedpeer.Within(t, b.After, "watch after one that ended")
 	b.Lines <- scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-2", addr))
 	for end := time.Now().Add(scriptedpeer.Soon); ; {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode == 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode == 200 {
 			return
 		}
 		if time.Now().After(end) {
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -13,14 +13,14 @@
 )
 
 // What is done at an endpoint is told, by its name and under its address, and read again by who counts a fleet's logs.
-func TestEventsAreTold(t *testing.T) {
+func TestEventsAreLogged(t *testing.T) {
 	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
 	c := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	var out bytes.Buffer
 	c.Events = &out
 	s := start(t, c)
 	for range 3 {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 			t.Fatal(resp.Status)
 		}
 	}
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -15,7 +15,7 @@
 // TestWordsOfEarlierBuild reads the file of words by hand that the build of commit 870f4ac wrote, and encodes them to the
 // same bytes, which are also those of the message to another process. The file is never changed: the other process may
 // be of another build.
-func TestWordsOfEarlierBuild(t *testing.T) {
+func TestCordonsOfEarlierBuild(t *testing.T) {
 	golden, err := os.ReadFile("testdata/words.golden.json")
 	if err != nil {
 		t.Fatal(err)
@@ -24,7 +24,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s := &sidecar{config: &platform.Config{Meeting: dir}, log: scriptedpeer.Quiet}
+	s := &sidecar{config: &platform.Config{SharedDir: dir}, log: scriptedpeer.Quiet}
 	words := s.readCordons()
 	want := []cordon.Record{{Name: "s-0", Cordoned: true, At: 1_700_000_000_000_001}, {Name: "s-1", Cordoned: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -133,17 +133,17 @@
 }
 
 // ask sends a request to the sidecar on a connection of its own and returns the whole answer.
-func (s *running) ask(t *testing.T, r *http.Request) (*http.Response, string) {
+func (s *running) request(t *testing.T, r *http.Request) (*http.Response, string) {
 	t.Helper()
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	return s.askOn(t, c, r)
+	return s.requestOn(t, c, r)
 }
 
-func (s *running) askOn(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
+func (s *running) requestOn(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
 	t.Helper()
 	if err := r.Write(c); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -159,7 +159,7 @@
 					scriptedpeer.Eventually(t, "the dial is given up", func() bool { return h.ended.Load() == 1 })
 					close(h.release)
 					// Another goes on as ever, and what was held for the one that left would have come before.
-					if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+					if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 						t.Errorf("the next is answered %s", resp.Status)
 					}
 					want := int64(len(sent(t, look(900))))
@@ -248,7 +248,7 @@
 	left := time.Now()
 	s.forgets(t, left)
 	close(h.release)
-	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("the next is answered %s", resp.Status)
 	}
 	if n := got.Load(); n > 1000 {
@@ -286,7 +286,7 @@
 		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
 	close(h.release)
-	if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("the next is answered %s", resp.Status)
 	}
 	if n := got.Load(); n > 1000 {
@@ -311,7 +311,7 @@
 	}
 	c.Close()
 	scriptedpeer.Eventually(t, "nobody is served", func() bool { all, _ := s.parts.front.ConnectionCounts(); return all == 0 })
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 50, "3")); resp.StatusCode == 200 {
+	if resp, _ := s.request(t, request("POST", "/pay", "pay", 50, "3")); resp.StatusCode == 200 {
 		t.Errorf("answered %s", resp.Status)
 	}
 	if n := taken.Load(); n != 2 {
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -35,7 +35,7 @@
 // middle and come again, in an order drawn from a seed, and a sidecar that is told to stop while some wait. It returns what broke a
 // rule: a whole request whose client stayed and that got no final answer, another's answer, an unsafe one that was taken
 // twice, one that was sent on 0.3 s after its client had left, or what is left open. wrongly has the endpoint answer to another.
-func livesOfClients(t *testing.T, seed uint64, wrongly bool) []string {
+func clientLifetimes(t *testing.T, seed uint64, wrongly bool) []string {
 	w := &witness{taken: map[string][]time.Time{}, left: map[string]time.Time{}}
 	rng := rand.New(rand.NewPCG(seed, 37))
 	delays := make([]time.Duration, 64)
@@ -153,11 +153,11 @@
 // Whatever meets on clients' connections, the four rules hold; an endpoint that answers to another is found out.
 func TestLivesOfClients(t *testing.T) {
 	for seed := range uint64(6) {
-		for _, wrong := range livesOfClients(t, seed, false) {
+		for _, wrong := range clientLifetimes(t, seed, false) {
 			t.Errorf("seed %d: %s", seed, wrong)
 		}
 	}
-	if len(livesOfClients(t, 0, true)) == 0 {
+	if len(clientLifetimes(t, 0, true)) == 0 {
 		t.Error("a planted fault was not found")
 	}
 }
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -109,10 +109,10 @@
 
 // socketPath returns the path of the socket for successors, "" where no other process can have our listening socket.
 func (l *lifecycle) socketPath() string {
-	if l.sidecar.config.Meeting == "" {
+	if l.sidecar.config.SharedDir == "" {
 		return ""
 	}
-	return filepath.Join(l.sidecar.config.Meeting, socketName)
+	return filepath.Join(l.sidecar.config.SharedDir, socketName)
 }
 
 // connect starts as the successor of the process that serves, or alone.
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -65,7 +65,7 @@
 func (s *running) serves(t *testing.T, want string) {
 	t.Helper()
 	for end, times := time.Now().Add(scriptedpeer.Soon), 0; times < 5; {
-		_, got := s.ask(t, look(900))
+		_, got := s.request(t, look(900))
 		if times++; got != want {
 			times = 0
 		}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -49,7 +49,7 @@
 		if len(body) > 0 {
 			r.Body = io.NopCloser(strings.NewReader(string(body)))
 		}
-		resp, text := s.ask(t, r)
+		resp, text := s.request(t, r)
 		kind := "" // where the endpoint names no type, none is guessed
 		if r.Method == "GET" {
 			kind = "application/x-card"
@@ -105,7 +105,7 @@
 		{"negative time", look(-1), 400},
 		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*http1.MaxHeaderBytes)), 431},
 	} {
-		if resp, _ := s.ask(t, tc.r); resp.StatusCode != tc.want {
+		if resp, _ := s.request(t, tc.r); resp.StatusCode != tc.want {
 			t.Errorf("%s: %s, want %d", tc.name, resp.Status, tc.want)
 		}
 	}
@@ -172,7 +172,7 @@
 
 // A refusal promises that the request never ran; where that is not known it is a failure, whatever the
 // endpoint said.
-func TestRefusedOrFailed(t *testing.T) {
+func TestRejectedOrFailed(t *testing.T) {
 	never := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Never-Ran", "1")
 		w.WriteHeader(503)
@@ -210,7 +210,7 @@
 				method = "GET"
 			}
 			begun := time.Now()
-			resp, _ := s.ask(t, request(method, "/"+tc.class, tc.class, 900, ""))
+			resp, _ := s.request(t, request(method, "/"+tc.class, tc.class, 900, ""))
 			if got := resp.StatusCode == 503; got != tc.refused || resp.StatusCode < 500 {
 				t.Errorf("%s, refused should be %v", resp.Status, tc.refused)
 			}
@@ -251,7 +251,7 @@
 			other := scripteddiscovery.Up("s-2", endpoint())
 			other.Cell = tc.cell
 			s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), other}))
-			resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
+			resp, _ := s.request(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
 			if n := copies.Load(); n > tc.mostCopies {
 				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
 			}
@@ -284,7 +284,7 @@
 	stalls.Store(true)
 	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad)}))
 	asked := time.Now()
-	resp, _ := s.ask(t, request("POST", "/pay", "pay", 400, "x"))
+	resp, _ := s.request(t, request("POST", "/pay", "pay", 400, "x"))
 	if took := time.Since(asked); resp.StatusCode != 504 || took > 450*time.Millisecond || heads.Load() != 1 {
 		t.Errorf("alone: %s after %v, with %d attempts", resp.Status, took, heads.Load())
 	}
@@ -292,11 +292,11 @@
 	s = start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad), scripteddiscovery.Up("s-2", good)}))
 	stalls.Store(false)
 	for range 20 { // it learns how long answers take; until then any silence is waited for
-		s.ask(t, look(900))
+		s.request(t, look(900))
 	}
 	stalls.Store(true)
 	for before := heads.Load(); heads.Load() == before; {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 			t.Errorf("beside another: %s", resp.Status)
 		}
 	}
@@ -318,7 +318,7 @@
 		want  int
 	}{{"pay", 504}, {"book", 504}} {
 		begun := time.Now()
-		resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 200, "x"))
+		resp, _ := s.request(t, request("POST", "/"+tc.class, tc.class, 200, "x"))
 		if took := time.Since(begun); took > 250*time.Millisecond || resp.StatusCode != tc.want { // 50 ms are the machine's (PROTOCOL)
 			t.Errorf("%s: %s after %v, want %d within 250 ms", tc.class, resp.Status, took, tc.want)
 		}
@@ -327,7 +327,7 @@
 		}
 	}
 	// One whose time is up when it comes never ran.
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 0, "x")); resp.StatusCode != 503 {
+	if resp, _ := s.request(t, request("POST", "/pay", "pay", 0, "x")); resp.StatusCode != 503 {
 		t.Errorf("no time: %s, want 503", resp.Status)
 	}
 }
@@ -358,7 +358,7 @@
 }
 
 // Requests over the settings' limit never ran.
-func TestMostOpen(t *testing.T) {
+func TestRequestLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
 	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
@@ -372,11 +372,11 @@
 	}
 	defer c.Close()
 	go func() {
-		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
+		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 		first <- resp.StatusCode
 	}()
 	scriptedpeer.Within(t, taken, "first attempt")
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
+	if resp, _ := s.request(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
 		t.Errorf("second: %s, want 503", resp.Status)
 	}
 	close(release)
@@ -390,7 +390,7 @@
 
 // Connections that ask for nothing make room for those that do, the longest silent first, and none costs the
 // sidecar a descriptor that it needs.
-func TestMostConnections(t *testing.T) {
+func TestConnectionLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
 	addr := scriptedpeer.Web(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
@@ -399,7 +399,7 @@
 		}
 	})
 	cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
-	cfg.Sockets = platform.LeastSockets
+	cfg.Sockets = platform.MinSockets
 	s := start(t, cfg)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", s.addr)
@@ -412,7 +412,7 @@
 	waiting := make(chan int, 1)
 	c := dial()
 	go func() {
-		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
+		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 		waiting <- resp.StatusCode
 	}()
 	scriptedpeer.Within(t, taken, "attempt")
@@ -422,7 +422,7 @@
 	}
 	kept := dial()
 	for range 3 {
-		if resp, _ := s.askOn(t, kept, look(900)); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := s.requestOn(t, kept, look(900)); resp.StatusCode != 200 || resp.Close {
 			t.Fatalf("beside silent connections: %s, close %v", resp.Status, resp.Close)
 		}
 	}
@@ -432,7 +432,7 @@
 		t.Errorf("the connection silent for longest: %v, want it closed", err)
 	}
 	last := silent[len(silent)-1]
-	if resp, _ := s.askOn(t, last, look(900)); resp.StatusCode != 200 {
+	if resp, _ := s.requestOn(t, last, look(900)); resp.StatusCode != 200 {
 		t.Errorf("a connection silent for a moment: %s", resp.Status)
 	}
 	close(release)
@@ -454,7 +454,7 @@
 	}
 	defer c.Close()
 	for i := range 1500 {
-		if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.requestOn(t, c, look(900)); resp.StatusCode != 200 {
 			t.Fatalf("request %d: %s", i, resp.Status)
 		}
 	}
@@ -477,7 +477,7 @@
 		many = append(many, scripteddiscovery.Up(fmt.Sprint("s-", i), addr))
 	}
 	cfg := configure(t, scriptedpeer.Nowhere(t), many)
-	cfg.Sockets = 2 * platform.LeastSockets
+	cfg.Sockets = 2 * platform.MinSockets
 	limits := clientLimits(cfg.Sockets)
 	if 4*limits.MaxIdle > cfg.Sockets {
 		t.Fatalf("%d of %d descriptors may rest: not well under the third that clients have", limits.MaxIdle, cfg.Sockets)
@@ -494,7 +494,7 @@
 	var stayed []net.Conn
 	for range 2 * limits.MaxIdle {
 		c := dial()
-		if resp, _ := s.askOn(t, c, look(900)); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := s.requestOn(t, c, look(900)); resp.StatusCode != 200 || resp.Close {
 			t.Fatalf("%s, close %v", resp.Status, resp.Close)
 		}
 		stayed = append(stayed, c)
@@ -516,7 +516,7 @@
 	for range limits.MaxConnections {
 		c := dial()
 		go func() {
-			resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
+			resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 			codes <- resp.StatusCode
 		}()
 		scriptedpeer.Within(t, taken, "an attempt of each that is open")
@@ -573,20 +573,20 @@
 	first := make(chan int, 1)
 	r := look(900)
 	go func() {
-		resp, _ := s.askOn(t, c, r)
+		resp, _ := s.requestOn(t, c, r)
 		first <- resp.StatusCode
 	}()
 	scriptedpeer.Within(t, taken, "attempt")
 	again := look(900)
 	again.Header.Set("X-Trace-Id", r.Header.Get("X-Trace-Id"))
-	if resp, _ := s.ask(t, again); resp.StatusCode != 409 {
+	if resp, _ := s.request(t, again); resp.StatusCode != 409 {
 		t.Errorf("an open id: %s, want 409", resp.Status)
 	}
 	close(release)
 	if code := scriptedpeer.Within(t, first, "answer"); code != 200 {
 		t.Errorf("its owner: %d, want 200", code)
 	}
-	if resp, _ := s.ask(t, again); resp.StatusCode != 200 {
+	if resp, _ := s.request(t, again); resp.StatusCode != 200 {
 		t.Errorf("an id that is free again: %s", resp.Status)
 	}
 }
@@ -627,9 +627,9 @@
 			for range rounds {
 				r := look(60)
 				r.Header.Set("X-Customer", "zeta")
-				s.ask(t, r)
+				s.request(t, r)
 				for range 5 {
-					s.ask(t, tc.rest())
+					s.request(t, tc.rest())
 				}
 			}
 			if n := failed.Load(); n > rounds/6 {
@@ -666,13 +666,13 @@
 	for range 40 { // the sidecar learns how long requests take, over some connections at once
 		var several sync.WaitGroup
 		for range 8 {
-			several.Go(func() { s.ask(t, look(900)) })
+			several.Go(func() { s.request(t, look(900)) })
 		}
 		several.Wait()
 	}
 	silent.Store(true)
 	for i := range 60 {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 			t.Errorf("request %d: %s", i, resp.Status)
 		}
 	}
@@ -697,13 +697,13 @@
 		t.Fatal(err)
 	}
 	defer idle.Close()
-	if resp, _ := s.askOn(t, idle, look(900)); resp.Close {
+	if resp, _ := s.requestOn(t, idle, look(900)); resp.Close {
 		t.Error("a connection was not kept")
 	}
 	var before sync.WaitGroup
 	defer before.Wait()
 	before.Go(func() {
-		if resp, _ := s.ask(t, request("POST", "/pay", "pay", 1000, "x")); resp.StatusCode != 200 || !resp.Close {
+		if resp, _ := s.request(t, request("POST", "/pay", "pay", 1000, "x")); resp.StatusCode != 200 || !resp.Close {
 			t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
 		}
 	})
@@ -715,11 +715,11 @@
 		t.Errorf("idle connection: %v, want it closed", err)
 	}
 	for time.Since(begun) < 450*time.Millisecond {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 || !resp.Close {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 || !resp.Close {
 			t.Fatalf("after the order: %s, close %v", resp.Status, resp.Close)
 		}
 	}
-	if resp, _ := s.ask(t, request("GET", "/-/ready", "", 900, "")); resp.StatusCode != 503 {
+	if resp, _ := s.request(t, request("GET", "/-/ready", "", 900, "")); resp.StatusCode != 503 {
 		t.Errorf("ready: %s after the order to stop", resp.Status)
 	}
 	close(release)
@@ -763,7 +763,7 @@
 			}
 			defer c.Close()
 			go func() {
-				resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
+				resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 				answer <- resp.StatusCode
 			}()
 			scriptedpeer.Within(t, dialing, "dial")
@@ -816,7 +816,7 @@
 				}
 				return c, err
 			})
-			resp, _ := s.ask(t, request("POST", "/book", "book", 900, "x"))
+			resp, _ := s.request(t, request("POST", "/book", "book", 900, "x"))
 			want, attempts := 200, int32(2)
 			if late {
 				want, attempts = 502, 1
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,7 +53,7 @@
 
 // availableSockets is how many descriptors clients and endpoints share.
 func availableSockets(c *platform.Config) int {
-	if c.Operator != "" {
+	if c.AdminAddress != "" {
 		return c.Sockets - admin.Sockets
 	}
 	return c.Sockets
@@ -93,17 +93,17 @@
 
 // listen returns the clients' listening socket: the platform's, where it holds it, or our own.
 func listen(c *platform.Config) (net.Listener, error) {
-	if c.Inherited == 0 {
+	if c.InheritedFD == 0 {
 		return net.Listen("tcp", c.Listen)
 	}
-	f := os.NewFile(uintptr(c.Inherited), "inherited")
+	f := os.NewFile(uintptr(c.InheritedFD), "inherited")
 	if f == nil {
-		return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no descriptor", c.Inherited)
+		return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no descriptor", c.InheritedFD)
 	}
 	defer f.Close() // the listener has one of its own
 	for option, is := range map[int]int{syscall.SO_TYPE: syscall.SOCK_STREAM, syscall.SO_ACCEPTCONN: 1} {
-		if v, err := syscall.GetsockoptInt(c.Inherited, syscall.SOL_SOCKET, option); err != nil || v != is {
-			return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no listening stream socket", c.Inherited)
+		if v, err := syscall.GetsockoptInt(c.InheritedFD, syscall.SOL_SOCKET, option); err != nil || v != is {
+			return nil, fmt.Errorf("ROUTER_INHERITED_FD: %d is no listening stream socket", c.InheritedFD)
 		}
 	}
 	return net.FileListener(f)
@@ -182,7 +182,7 @@
 		InitialEndpoints: c.Known.EndpointUpdate(),
 		SetWatch:         s.source.SetWatching,
 	}
-	if c.Overload {
+	if c.OverloadControl {
 		o := overload.DefaultSettings()
 		o.Instances = c.Site.Settings.Balancers
 		pool.Overload = &o
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -221,7 +221,7 @@
 		t.Errorf("the rest: %d bytes, %v", len(rest), err)
 	}
 	tries.Store(0)
-	if resp, body := s.ask(t, request("GET", "/look/small", "look", 900, "")); resp.StatusCode != 200 || len(body) != 1024 || tries.Load() != 1 {
+	if resp, body := s.request(t, request("GET", "/look/small", "look", 900, "")); resp.StatusCode != 200 || len(body) != 1024 || tries.Load() != 1 {
 		t.Errorf("%s, %d bytes, %d attempts", resp.Status, len(body), tries.Load())
 	}
 }
@@ -238,7 +238,7 @@
 	for range 6 { // 600 ms: more than the client waits for the answer, which counts from the last byte
 		c.Write(pattern(16 << 10))
 		time.Sleep(100 * time.Millisecond)
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 {
+		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 			t.Error("beside an upload:", resp.Status)
 		}
 	}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -111,7 +111,7 @@
 	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	ln := &gated{TCPListener: loopback(t)}
 	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
-	s.ask(t, look(900)) // it learns how fast the endpoint is
+	s.request(t, look(900)) // it learns how fast the endpoint is
 	ln.hold()
 	if c, err := net.Dial("tcp", s.addr); err == nil { // takes the place of the one that was waited for
 		c.Read(make([]byte, 1))
@@ -265,7 +265,7 @@
 	})
 	ln := &accepting{TCPListener: loopback(t), accepted: make(chan *net.TCPConn, 1000)}
 	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
-	s.ask(t, look(900)) // it learns how fast the endpoint is
+	s.request(t, look(900)) // it learns how fast the endpoint is
 	for len(ln.accepted) > 0 {
 		<-ln.accepted
 	}
