--- a/cmd/dunlinsaild/adminflag.go
+++ b/cmd/dunlinsaild/adminflag.go
@@ -29,10 +29,10 @@
 	if err != nil {
 		return "", &mistakesIn{f.Config, err}
 	}
-	if conf.Operators.Address == "" {
+	if conf.Admin.Address == "" {
 		return "", errors.New("operators.address is not set in that file: nobody can be asked")
 	}
-	return conf.Operators.Address, nil
+	return conf.Admin.Address, nil
 }
 
 // callTimeout bounds a call to a daemon.
--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -36,13 +36,13 @@
 		return nil, err
 	}
 	k := &known{file: c, kept: &rollout.PersistentState{}}
-	if c.Control.State == "" {
+	if c.ControlPlane.StateDir == "" {
 		return k, nil
 	}
-	if _, err := os.Stat(c.Control.State); errors.Is(err, fs.ErrNotExist) {
+	if _, err := os.Stat(c.ControlPlane.StateDir); errors.Is(err, fs.ErrNotExist) {
 		return k, nil // it has never served
 	}
-	if k.dir, err = configcache.Open(c.Control.State); err != nil {
+	if k.dir, err = configcache.Open(c.ControlPlane.StateDir); err != nil {
 		return nil, err
 	}
 	got, from, err := k.dir.Load()
@@ -222,7 +222,7 @@
 		}
 	}
 	fmt.Printf("%s: sound\n", c.Resources)
-	if tables := now.Differs(made); len(tables) > 0 {
+	if tables := now.TablesNeedingRestart(made); len(tables) > 0 {
 		fmt.Printf("a new generation would take over, for %s: open requests end in the old one, connections go on\n", strings.Join(tables, ", "))
 	} else {
 		fmt.Println("it would be changed into while serving")
--- a/internal/bench/transport/xds/main.go
+++ b/internal/bench/transport/xds/main.go
@@ -22,7 +22,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := 0
-	c, err := xdsclient.New(xdsclient.Options{Settings: config.Control{Address: os.Args[1], Plaintext: true, SizeMost: stricttoml.Size{Bytes: 64 << 20}, RetryMost: stricttoml.Duration{Duration: time.Second}},
+	c, err := xdsclient.New(xdsclient.Options{Settings: config.ControlPlane{Address: os.Args[1], Plaintext: true, MaxResponseSize: stricttoml.Size{Bytes: 64 << 20}, MaxBackoff: stricttoml.Duration{Duration: time.Second}},
 		InstanceName: "bench", Log: slog.New(slog.DiscardHandler), OnUpdate: func(u xdsclient.Update) {
 			fmt.Println(len(u.Resources))
 			if n++; n == most {
--- a/internal/config/clients.go
+++ b/internal/config/clients.go
@@ -24,18 +24,18 @@
 }
 
 // Bounds are what one client may do. 0 is no bound.
-type Bounds struct {
-	Weight      float64         `toml:"weight"`
-	Connections int             `toml:"connections"`
-	Open        int             `toml:"open_requests"`
-	Bytes       stricttoml.Size `toml:"bytes_held"`
-	Rate        float64         `toml:"requests_per_second"`
-	Burst       float64         `toml:"burst"` // requests at once; 0 is a tenth of a second's
+type ClientLimits struct {
+	Weight         float64         `toml:"weight"`
+	MaxConnections int             `toml:"connections"`
+	MaxOpen        int             `toml:"open_requests"`
+	MaxBytesHeld   stricttoml.Size `toml:"bytes_held"`
+	Rate           float64         `toml:"requests_per_second"`
+	Burst          float64         `toml:"burst"` // requests at once; 0 is a tenth of a second's
 }
 
 // Share returns the bounds as the decisions between clients take them.
-func (b *Bounds) Share(name string) fairqueue.ClientSpec {
-	s := fairqueue.ClientSpec{Name: name, Weight: b.Weight, MaxOpen: b.Open, Rate: b.Rate, Burst: b.Burst}
+func (b *ClientLimits) Share(name string) fairqueue.ClientSpec {
+	s := fairqueue.ClientSpec{Name: name, Weight: b.Weight, MaxOpen: b.MaxOpen, Rate: b.Rate, Burst: b.Burst}
 	if s.Rate > 0 && s.Burst == 0 {
 		s.Burst = max(1, s.Rate/10)
 	}
@@ -45,7 +45,7 @@
 // Client is a client by name.
 type Client struct {
 	Name string `toml:"name"`
-	Bounds
+	ClientLimits
 	UIDs       []uint32 `toml:"uids"`
 	GIDs       []uint32 `toml:"gids"`
 	PerProcess bool     `toml:"per_process"` // each process on a unix socket is a client of its own, with these bounds
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,31 +16,31 @@
 type Config struct {
 	Name string `toml:"name"`
 
-	Process   Process   `toml:"process"`
-	Discovery Discovery `toml:"discovery"`
-	Takeover  Takeover  `toml:"takeover"`
-	Operators Operators `toml:"operators"`
-	Record    Record    `toml:"record"`
-	Control   Control   `toml:"control"`
+	Process      Process      `toml:"process"`
+	Discovery    Discovery    `toml:"discovery"`
+	Takeover     Takeover     `toml:"takeover"`
+	Admin        Admin        `toml:"operators"`
+	AccessLog    AccessLog    `toml:"record"`
+	ControlPlane ControlPlane `toml:"control"`
 
-	Connections Connections `toml:"connections"`
-	Requests    Requests    `toml:"requests"`
-	Listeners   []Listener  `toml:"listener"`
-	Clients     []Client    `toml:"client"`
-	Others      *Bounds     `toml:"others"`
+	Connections  Connections   `toml:"connections"`
+	Requests     Requests      `toml:"requests"`
+	Listeners    []Listener    `toml:"listener"`
+	Clients      []Client      `toml:"client"`
+	OtherClients *ClientLimits `toml:"others"`
 
-	Fleet    Fleet    `toml:"fleet"`
-	Classes  []Class  `toml:"class"`
-	Tenants  []Tenant `toml:"tenant"`
-	Attempts Attempts `toml:"attempts"`
-	Refusals Refusals `toml:"refusals"`
-	Probes   Probes   `toml:"probes"`
-	Overload Overload `toml:"overload"`
-	Peers    Peers    `toml:"peers"`
-	Work     Work     `toml:"work"`
-	Rules    Rules    `toml:"rules"`
-	Prices   Prices   `toml:"prices"`
-	Goal     Goal     `toml:"goal"`
+	Fleet       Fleet       `toml:"fleet"`
+	Classes     []Class     `toml:"class"`
+	Tenants     []Tenant    `toml:"tenant"`
+	Attempts    Attempts    `toml:"attempts"`
+	Rejections  Rejections  `toml:"refusals"`
+	Probes      Probes      `toml:"probes"`
+	Overload    Overload    `toml:"overload"`
+	Peers       Peers       `toml:"peers"`
+	Maintenance Maintenance `toml:"work"`
+	Rules       Rules       `toml:"rules"`
+	Prices      Prices      `toml:"prices"`
+	Goal        Goal        `toml:"goal"`
 
 	Pools  []Pool  `toml:"pool"`
 	Routes []Route `toml:"route"`
@@ -73,8 +73,8 @@
 		return nil, err
 	}
 	c.Text = text
-	c.fill()
-	k := &check{stricttoml.Validation{Lines: lines}}
+	c.setRouteDefaults()
+	k := &validator{stricttoml.Validation{Lines: lines}}
 	k.config(&c)
 	if err := k.Err(); err != nil {
 		return nil, err
@@ -84,7 +84,7 @@
 
 // Differs returns the tables that differ between two files and cannot be changed while a daemon serves: all but the
 // clients' bounds, pools, routes and where discovery is.
-func (c *Config) Differs(next *Config) []string {
+func (c *Config) TablesNeedingRestart(next *Config) []string {
 	var all []string
 	a, b := reflect.ValueOf(*c), reflect.ValueOf(*next)
 	for i := range a.NumField() {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,7 +53,7 @@
 		s.Tenants[1].Quota != 180 || s.LoadMetrics[1] != balancer.MetricServedRate {
 		t.Errorf("settings %+v", s)
 	}
-	if n := c.Connections; n.Clients != 2032 || n.Endpoints != 2032 || n.AtRest != 677 {
+	if n := c.Connections; n.MaxClients != 2032 || n.MaxEndpoints != 2032 || n.MaxIdle != 677 {
 		t.Errorf("connections %+v", n)
 	}
 }
@@ -84,9 +84,9 @@
 		t.Fatal(err)
 	}
 	for _, c := range []*Config{with, without} { // what is printed as an address, or differs only in print
-		c.Clients[0].UIDs, c.Clients[0].GIDs, c.Others, c.Text = nil, nil, nil, nil
+		c.Clients[0].UIDs, c.Clients[0].GIDs, c.OtherClients, c.Text = nil, nil, nil, nil
 		for i := range c.Classes {
-			c.Classes[i].Worth = nil
+			c.Classes[i].PriorityWeight = nil
 		}
 	}
 	if a, b := fmt.Sprintf("%+v", with), fmt.Sprintf("%+v", without); a != b {
--- a/internal/config/decisions.go
+++ b/internal/config/decisions.go
@@ -12,16 +12,16 @@
 
 // Consensus returns the settings by which the maintenance plan is replicated; nil is that it is not.
 func (c *Config) Consensus() *consensus.Settings {
-	w := &c.Work
+	w := &c.Maintenance
 	if !w.On {
 		return nil
 	}
-	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, TickInterval: w.Lease.Micros() / 20, Maintenance: maintenance.Settings{MaxOut: w.Most, MaxOutPerZone: w.Zone, MaxOutPerCell: w.Cell, MaxOutPerKind: w.Kind,
-		MaxAnnounced: w.Ahead, Headroom: w.Room, LeaseDuration: w.Lease.Micros(), InFlightGrace: w.Quiet.Micros(), Warmup: c.Rules.WarmAfter.Micros(), MaxClockDrift: c.Peers.Drift}}
+	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Allocators, TickInterval: w.Lease.Micros() / 20, Maintenance: maintenance.Settings{MaxOut: w.MaxOut, MaxOutPerZone: w.MaxPerZone, MaxOutPerCell: w.MaxPerCell, MaxOutPerKind: w.MaxPerMachineType,
+		MaxAnnounced: w.Announced, Headroom: w.CapacityReserve, LeaseDuration: w.Lease.Micros(), InFlightGrace: w.QuietPeriod.Micros(), Warmup: c.Rules.WarmupDuration.Micros(), MaxClockDrift: c.Peers.MaxClockDrift}}
 }
 
 // uses are what peers.lends may name.
-var uses = map[string]func(u *engine.CoordinationScope){
+var coordinatedUses = map[string]func(u *engine.CoordinationScope){
 	"further":  func(u *engine.CoordinationScope) { u.Retries = true },
 	"probes":   func(u *engine.CoordinationScope) { u.Probes = true },
 	"tenants":  func(u *engine.CoordinationScope) { u.TenantLimits = true },
@@ -30,15 +30,15 @@
 }
 
 // Together returns what is decided together, as the engine takes it, without who carries words; nil is nothing.
-func (c *Config) Together(seed uint64) *engine.Coordination {
+func (c *Config) Coordination(seed uint64) *engine.Coordination {
 	p := &c.Peers
 	if !p.On {
 		return nil
 	}
-	t := &engine.Coordination{Settings: coordination.Settings{Self: c.Name, Candidates: p.Lenders, LeaseDuration: p.Lease.Micros(), Seed: seed, Quota: quota.Settings{
-		MaxInstances: c.Fleet.Instances, Reserve: p.Ready, LeaseDuration: p.Loan.Micros(), RequestInterval: p.Every.Micros(), MaxClockDrift: p.Drift}}}
-	for _, name := range p.Lends {
-		uses[name](&t.Scope)
+	t := &engine.Coordination{Settings: coordination.Settings{Self: c.Name, Candidates: p.Allocators, LeaseDuration: p.LeaderLease.Micros(), Seed: seed, Quota: quota.Settings{
+		MaxInstances: c.Fleet.Instances, Reserve: p.ReserveFraction, LeaseDuration: p.QuotaLease.Micros(), RequestInterval: p.LeaseRequestInterval.Micros(), MaxClockDrift: p.MaxClockDrift}}}
+	for _, name := range p.CoordinatedUses {
+		coordinatedUses[name](&t.Scope)
 	}
 	return t
 }
@@ -46,9 +46,9 @@
 // Sharing returns how requests are shared out between clients, as the engine takes it.
 func (c *Config) Sharing() engine.ConcurrencySettings {
 	r := &c.Requests
-	s := engine.ConcurrencySettings{MaxInFlight: r.InFlight, MaxOpen: r.Open}
+	s := engine.ConcurrencySettings{MaxInFlight: r.InFlight, MaxOpen: r.MaxOpen}
 	if r.InFlight == 0 {
-		s.Adaptive = &concurrency.Settings{Min: r.InFlightLeast, Max: r.InFlightMost, Initial: min(r.InFlightMost, max(r.InFlightLeast, inFlightFirst))}
+		s.Adaptive = &concurrency.Settings{Min: r.MinInFlight, Max: r.MaxInFlight, Initial: min(r.MaxInFlight, max(r.MinInFlight, inFlightFirst))}
 	}
 	return s
 }
@@ -59,5 +59,5 @@
 // RestLimits returns the bounds on clients' connections.
 func (c *Config) RestLimits() connlimit.Limits {
 	n := &c.Connections
-	return connlimit.Limits{MaxConnections: n.Clients, MaxIdle: n.AtRest, MaxIdleTime: n.RestMost.Micros(), MinIdleTime: n.RestLeast.Micros()}
+	return connlimit.Limits{MaxConnections: n.MaxClients, MaxIdle: n.MaxIdle, MaxIdleTime: n.MaxIdleTime.Micros(), MinIdleTime: n.MinIdleTime.Micros()}
 }
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -99,7 +99,7 @@
 		return nil, err
 	}
 	var all []Resource
-	for name, k := range Kinds() {
+	for name, k := range ResourceKinds() {
 		switch v := tree[name].(type) {
 		case map[string]any:
 			all = append(all, Resource{Kind: name, Fields: v})
--- a/internal/config/host.go
+++ b/internal/config/host.go
@@ -25,56 +25,58 @@
 }
 
 // Operators says where operators call.
-type Operators struct {
+type Admin struct {
 	Address string `toml:"address"` // host:port on loopback; empty: nowhere
 }
 
 // Record says whether and how an access record is kept.
-type Record struct {
+type AccessLog struct {
 	Dir         string              `toml:"dir"` // empty: none is
-	Sample      float64             `toml:"sample"`
+	SampleRate  float64             `toml:"sample"`
 	SegmentRows int                 `toml:"segment_rows"`
 	SegmentAge  stricttoml.Duration `toml:"segment_age"`
-	Keep        stricttoml.Size     `toml:"keep"`
-	Secret      string              `toml:"secret"` // a file
+	MaxBytes    stricttoml.Size     `toml:"keep"`
+	SecretFile  string              `toml:"secret"` // a file
 }
 
 // Control says where versions of the configuration come from, beside the file.
-type Control struct {
-	Address    string              `toml:"address"` // host:port of a control service; empty: there is none
-	Node       string              `toml:"node"`    // who this instance is to it; empty: name
-	Cluster    string              `toml:"cluster"`
-	CA         string              `toml:"ca"`   // files, PEM: by whom the service is vouched for,
-	Cert       string              `toml:"cert"` // and what this instance shows
-	Key        string              `toml:"key"`
-	ServerName string              `toml:"server_name"` // in the service's certificate; empty: the host of address
-	Plaintext  bool                `toml:"plaintext"`   // on loopback, without TLS
-	State      string              `toml:"state"`       // a folder where good versions are kept
-	Pin        []string            `toml:"pin"`         // what of the file no version replaces: "table", "table.key", "list.name"
-	Trial      stricttoml.Duration `toml:"trial"`       // how long a version is on trial; 0 is not at all
-	Margin     float64             `toml:"trial_margin"`
-	Alpha      float64             `toml:"trial_alpha"`
-	Gap        stricttoml.Duration `toml:"gap"`
-	SizeMost   stricttoml.Size     `toml:"size_most"`
-	RetryMost  stricttoml.Duration `toml:"retry_most"`
+type ControlPlane struct {
+	Address               string              `toml:"address"` // host:port of a control service; empty: there is none
+	Node                  string              `toml:"node"`    // who this instance is to it; empty: name
+	Cluster               string              `toml:"cluster"`
+	CA                    string              `toml:"ca"`   // files, PEM: by whom the service is vouched for,
+	Cert                  string              `toml:"cert"` // and what this instance shows
+	Key                   string              `toml:"key"`
+	ServerName            string              `toml:"server_name"` // in the service's certificate; empty: the host of address
+	Plaintext             bool                `toml:"plaintext"`   // on loopback, without TLS
+	StateDir              string              `toml:"state"`       // a folder where good versions are kept
+	Pinned                []string            `toml:"pin"`         // what of the file no version replaces: "table", "table.key", "list.name"
+	CanaryDuration        stricttoml.Duration `toml:"trial"`       // how long a version is on trial; 0 is not at all
+	HarmMargin            float64             `toml:"trial_margin"`
+	Alpha                 float64             `toml:"trial_alpha"`
+	MinValidationInterval stricttoml.Duration `toml:"gap"`
+	MaxResponseSize       stricttoml.Size     `toml:"size_most"`
+	MaxBackoff            stricttoml.Duration `toml:"retry_most"`
 }
 
 // Tries says whether versions are on trial before they count as good.
-func (c *Control) Tries() bool { return (c.Address != "" || c.State != "") && c.Trial.Duration > 0 }
+func (c *ControlPlane) CanaryEnabled() bool {
+	return (c.Address != "" || c.StateDir != "") && c.CanaryDuration.Duration > 0
+}
 
 // Connections bounds the connections to clients and endpoints.
 type Connections struct {
-	Clients   int                 `toml:"clients"`
-	AtRest    int                 `toml:"at_rest"`
-	RestMost  stricttoml.Duration `toml:"rest_most"`
-	RestLeast stricttoml.Duration `toml:"rest_least"`
-	Endpoints int                 `toml:"endpoints"`
+	MaxClients   int                 `toml:"clients"`
+	MaxIdle      int                 `toml:"at_rest"`
+	MaxIdleTime  stricttoml.Duration `toml:"rest_most"`
+	MinIdleTime  stricttoml.Duration `toml:"rest_least"`
+	MaxEndpoints int                 `toml:"endpoints"`
 }
 
 // Requests bounds what the instance takes on.
 type Requests struct {
-	Open          int `toml:"open"`
-	InFlight      int `toml:"in_flight"` // 0 is learned
-	InFlightLeast int `toml:"in_flight_least"`
-	InFlightMost  int `toml:"in_flight_most"`
+	MaxOpen     int `toml:"open"`
+	InFlight    int `toml:"in_flight"` // 0 is learned
+	MinInFlight int `toml:"in_flight_least"`
+	MaxInFlight int `toml:"in_flight_most"`
 }
--- a/internal/config/requests.go
+++ b/internal/config/requests.go
@@ -6,14 +6,14 @@
 
 // Class is a class of requests.
 type Class struct {
-	Name      string              `toml:"name"`
-	Repeat    string              `toml:"repeat"` // "safe", "keyed" or "unsafe"
-	Group     string              `toml:"group"`  // keyed only: "all", "zone" or "cell"
-	Window    stricttoml.Duration `toml:"window"` // keyed only
-	Aim       stricttoml.Duration `toml:"aim"`
-	GiveUp    stricttoml.Duration `toml:"give_up"`
-	Worth     *float64            `toml:"worth"`
-	LateWorth float64             `toml:"late_worth"`
+	Name             string              `toml:"name"`
+	Idempotency      string              `toml:"repeat"` // "safe", "keyed" or "unsafe"
+	IdempotencyGroup string              `toml:"group"`  // keyed only: "all", "zone" or "cell"
+	KeyWindow        stricttoml.Duration `toml:"window"` // keyed only
+	LatencyObjective stricttoml.Duration `toml:"aim"`
+	ClientTimeout    stricttoml.Duration `toml:"give_up"`
+	PriorityWeight   *float64            `toml:"worth"`
+	LateWeight       float64             `toml:"late_worth"`
 }
 
 // Tenant is one of those who share the service.
@@ -21,22 +21,22 @@
 	Name      string  `toml:"name"`
 	Allowance float64 `toml:"allowance"` // requests a second over all instances
 	Share     float64 `toml:"share"`
-	Limit     float64 `toml:"limit"` // requests a second over all instances that are let in at most; 0 is no limit
+	RateLimit float64 `toml:"limit"` // requests a second over all instances that are let in at most; 0 is no limit
 }
 
 // Attempts says what may be tried for a request.
 type Attempts struct {
-	Most         int                 `toml:"most"`
-	Cancel       bool                `toml:"cancel"`
-	SecondCopies bool                `toml:"second_copies"`
-	RetryBudget  float64             `toml:"retry_budget"` // of a pool that says nothing of its own
-	DialTimeout  stricttoml.Duration `toml:"dial_timeout"`
+	MaxAttempts    int                 `toml:"most"`
+	Cancel         bool                `toml:"cancel"`
+	HedgedRequests bool                `toml:"second_copies"`
+	RetryBudget    float64             `toml:"retry_budget"` // of a pool that says nothing of its own
+	DialTimeout    stricttoml.Duration `toml:"dial_timeout"`
 }
 
 // Refusals says what a client is told that is to try again.
-type Refusals struct {
-	RetryAfter     bool                `toml:"retry_after"`
-	RetryAfterMost stricttoml.Duration `toml:"retry_after_most"`
+type Rejections struct {
+	RetryAfter    bool                `toml:"retry_after"`
+	MaxRetryAfter stricttoml.Duration `toml:"retry_after_most"`
 }
 
 // Probes says what endpoints tell of their load.
@@ -48,12 +48,12 @@
 
 // Rules are the figures of the rules that must hold (PROTOCOL).
 type Rules struct {
-	DrainGrace   stricttoml.Duration `toml:"drain_grace"`
-	ColdFrom     float64             `toml:"cold_from"`
-	WarmAfter    stricttoml.Duration `toml:"warm_after"`
-	FallMultiple float64             `toml:"fall_multiple"`
-	FallAfter    stricttoml.Duration `toml:"fall_after"`
-	AskWithin    stricttoml.Duration `toml:"ask_within"`
+	DrainGrace     stricttoml.Duration `toml:"drain_grace"`
+	WarmupStart    float64             `toml:"cold_from"`
+	WarmupDuration stricttoml.Duration `toml:"warm_after"`
+	FallMultiple   float64             `toml:"fall_multiple"`
+	FallAfter      stricttoml.Duration `toml:"fall_after"`
+	PollWithin     stricttoml.Duration `toml:"ask_within"`
 }
 
 // Prices is what is taken off the service for its cost.
--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -35,7 +35,7 @@
 }
 
 // Kind is what resources there may be of a table.
-type Kind struct {
+type ResourceKind struct {
 	Name string
 	List bool         // there may be several, each with a name
 	Type reflect.Type // of one
@@ -45,15 +45,15 @@
 var localOnly = []string{"name", "process", "takeover", "record", "control", "peers", "operators", "work"}
 
 // Kinds returns what a control service may send, by name.
-func Kinds() map[string]Kind {
-	all := map[string]Kind{}
+func ResourceKinds() map[string]ResourceKind {
+	all := map[string]ResourceKind{}
 	of := reflect.TypeFor[Config]()
 	for i := range of.NumField() {
 		name, t := of.Field(i).Tag.Get("toml"), of.Field(i).Type
 		if name == "-" || slices.Contains(localOnly, name) {
 			continue
 		}
-		k := Kind{Name: name, Type: t}
+		k := ResourceKind{Name: name, Type: t}
 		if t.Kind() == reflect.Slice {
 			k.List, k.Type = true, t.Elem()
 		} else if t.Kind() == reflect.Pointer {
@@ -66,11 +66,11 @@
 
 // The bounds of what a version may hold. The service is not trusted with more of this process than it needs.
 const (
-	resourcesMost = 20_000
-	nameMost      = 255
-	depthMost     = 6
-	valuesMost    = 200_000 // in all resources together
-	textMost      = 8 << 10 // of one value
+	maxResources  = 20_000
+	maxNameLength = 255
+	maxDepth      = 6
+	maxValues     = 200_000 // in all resources together
+	maxTextLength = 8 << 10 // of one value
 )
 
 // Digest returns that of a version's content, whatever the order of its resources.
@@ -88,9 +88,9 @@
 
 // CheckResources says what of a version makes no sense by itself: kinds, names, and more than may be.
 func CheckResources(all []Resource) error {
-	kinds, seen := Kinds(), map[string]bool{}
-	if len(all) > resourcesMost {
-		return fmt.Errorf("%d resources, %d at most", len(all), resourcesMost)
+	kinds, seen := ResourceKinds(), map[string]bool{}
+	if len(all) > maxResources {
+		return fmt.Errorf("%d resources, %d at most", len(all), maxResources)
 	}
 	values := 0
 	for i := range all {
@@ -105,13 +105,13 @@
 			return fmt.Errorf("%s: has no name", r.Kind)
 		case !k.List && r.Name != "":
 			return fmt.Errorf("%s: there is one table %s, which has no name", r.ID(), r.Kind)
-		case len(r.Name) > nameMost:
-			return fmt.Errorf("%s: a name of %d bytes, %d at most", r.Kind, len(r.Name), nameMost)
+		case len(r.Name) > maxNameLength:
+			return fmt.Errorf("%s: a name of %d bytes, %d at most", r.Kind, len(r.Name), maxNameLength)
 		case seen[r.ID()]:
 			return fmt.Errorf("%s: stands twice", r.ID())
 		}
 		seen[r.ID()] = true
-		if err := checkValue(r.Fields, depthMost, &values); err != nil {
+		if err := checkValue(r.Fields, maxDepth, &values); err != nil {
 			return fmt.Errorf("%s: %w", r.ID(), err)
 		}
 	}
@@ -119,17 +119,17 @@
 }
 
 func checkValue(v any, depth int, values *int) error {
-	if *values++; *values > valuesMost {
-		return fmt.Errorf("over %d values in one version", valuesMost)
+	if *values++; *values > maxValues {
+		return fmt.Errorf("over %d values in one version", maxValues)
 	}
 	if depth < 0 {
-		return fmt.Errorf("nested deeper than %d", depthMost)
+		return fmt.Errorf("nested deeper than %d", maxDepth)
 	}
 	switch v := v.(type) {
 	case map[string]any:
 		for name, x := range v {
-			if len(name) > nameMost {
-				return fmt.Errorf("a key of %d bytes, %d at most", len(name), nameMost)
+			if len(name) > maxNameLength {
+				return fmt.Errorf("a key of %d bytes, %d at most", len(name), maxNameLength)
 			}
 			if err := checkValue(x, depth-1, values); err != nil {
 				return err
@@ -142,8 +142,8 @@
 			}
 		}
 	case string:
-		if len(v) > textMost {
-			return fmt.Errorf("a text of %d bytes, %d at most", len(v), textMost)
+		if len(v) > maxTextLength {
+			return fmt.Errorf("a text of %d bytes, %d at most", len(v), maxTextLength)
 		}
 	case float64:
 		if math.IsNaN(v) || math.IsInf(v, 0) {
@@ -170,13 +170,13 @@
 	if err := toml.Unmarshal(file.Text, &tree); err != nil {
 		return nil, err // it was parsed before
 	}
-	m := merge{tree: tree, kinds: Kinds(), pins: pins(file.Control.Pin), from: map[string][]string{}}
+	m := merger{tree: tree, kinds: ResourceKinds(), pinned: pinSet(file.ControlPlane.Pinned), listOrigins: map[string][]string{}}
 	byKind := map[string][]Resource{}
 	for _, r := range all {
 		byKind[r.Kind] = append(byKind[r.Kind], r)
 	}
 	for _, kind := range slices.Sorted(maps.Keys(byKind)) {
-		m.kind(kind, byKind[kind])
+		m.mergeKind(kind, byKind[kind])
 	}
 	text, err := toml.Marshal(tree)
 	if err != nil {
@@ -190,19 +190,19 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Control = file.Control // the file's, whatever was made of it
+	c.ControlPlane = file.ControlPlane // the file's, whatever was made of it
 	return c, nil
 }
 
 // merge is a file's tree on its way to what a version makes of it.
-type merge struct {
-	tree  map[string]any
-	kinds map[string]Kind
-	pins  map[string]bool
-	from  map[string][]string // of each list, whose its entries are: a resource's ID, or "" for the file's
+type merger struct {
+	tree        map[string]any
+	kinds       map[string]ResourceKind
+	pinned      map[string]bool
+	listOrigins map[string][]string // of each list, whose its entries are: a resource's ID, or "" for the file's
 }
 
-func pins(all []string) map[string]bool {
+func pinSet(all []string) map[string]bool {
 	set := map[string]bool{}
 	for _, p := range all {
 		set[p] = true
@@ -210,19 +210,19 @@
 	return set
 }
 
-func (m *merge) kind(kind string, all []Resource) {
-	if m.pins[kind] {
+func (m *merger) mergeKind(kind string, all []Resource) {
+	if m.pinned[kind] {
 		return
 	}
 	if !m.kinds[kind].List {
-		m.table(kind, &all[0])
+		m.mergeTable(kind, &all[0])
 		return
 	}
 	entries := map[string]map[string]any{}
 	from := map[string]string{}
 	for i := range all {
 		r := &all[i]
-		table := numbers(r.Fields).(map[string]any)
+		table := integralFloatsToInts(r.Fields).(map[string]any)
 		table["name"] = r.Name
 		entries[r.Name], from[r.Name] = table, r.ID()
 	}
@@ -231,7 +231,7 @@
 	for _, x := range old {
 		table, _ := x.(map[string]any)
 		name, _ := table["name"].(string)
-		if m.pins[kind+"."+name] {
+		if m.pinned[kind+"."+name] {
 			entries[name], from[name] = table, ""
 		}
 		if entries[name] != nil && !slices.Contains(order, name) {
@@ -250,25 +250,25 @@
 	list := make([]map[string]any, 0, len(order))
 	for _, name := range order {
 		list = append(list, entries[name])
-		m.from[kind] = append(m.from[kind], from[name])
+		m.listOrigins[kind] = append(m.listOrigins[kind], from[name])
 	}
 	m.tree[kind] = list
 }
 
-func (m *merge) table(kind string, r *Resource) {
+func (m *merger) mergeTable(kind string, r *Resource) {
 	old, _ := m.tree[kind].(map[string]any)
-	table := numbers(r.Fields).(map[string]any)
+	table := integralFloatsToInts(r.Fields).(map[string]any)
 	for key, v := range old {
-		if m.pins[kind+"."+key] {
+		if m.pinned[kind+"."+key] {
 			table[key] = v
 		}
 	}
 	m.tree[kind] = table
-	m.from[kind] = []string{r.ID()}
+	m.listOrigins[kind] = []string{r.ID()}
 }
 
 // numbers returns a value with its whole numbers as such: JSON has one kind of number, and TOML two.
-func numbers(v any) any {
+func integralFloatsToInts(v any) any {
 	switch v := v.(type) {
 	case float64:
 		if n := int64(v); float64(n) == v && n > -1<<53 && n < 1<<53 {
@@ -277,13 +277,13 @@
 	case []any:
 		all := make([]any, len(v))
 		for i, x := range v {
-			all[i] = numbers(x)
+			all[i] = integralFloatsToInts(x)
 		}
 		return all
 	case map[string]any:
 		all := make(map[string]any, len(v))
 		for key, x := range v {
-			all[key] = numbers(x)
+			all[key] = integralFloatsToInts(x)
 		}
 		return all
 	}
@@ -291,14 +291,14 @@
 }
 
 // mistakesMost is how many mistakes of a version are told.
-const mistakesMost = 8
+const maxReportedErrors = 8
 
 // explain tells mistakes by the resources that they are in.
-func (m *merge) explain(text []byte, wrong stricttoml.Errors) error {
+func (m *merger) explain(text []byte, wrong stricttoml.Errors) error {
 	places := stricttoml.TableLookup(text)
 	var lines []string
 	for i, e := range wrong {
-		if i == mistakesMost {
+		if i == maxReportedErrors {
 			lines = append(lines, fmt.Sprintf("and %d more", len(wrong)-i))
 			break
 		}
@@ -310,7 +310,7 @@
 		}
 		parts := strings.SplitN(key, ".", 3)
 		who, rest := "the file", key
-		if ids := m.from[parts[0]]; ids != nil {
+		if ids := m.listOrigins[parts[0]]; ids != nil {
 			at, inList := 0, m.kinds[parts[0]].List
 			if inList && len(parts) > 1 {
 				_, _ = fmt.Sscan(parts[1], &at) // the place in a list, a number
--- a/internal/config/resources_test.go
+++ b/internal/config/resources_test.go
@@ -188,7 +188,7 @@
 			}
 		}
 	}
-	for name, k := range Kinds() {
+	for name, k := range ResourceKinds() {
 		collect(name, k.Type)
 	}
 	slices.Sort(keys)
@@ -209,7 +209,7 @@
 			if needs[key] != "" {
 				maps.Copy(r.Fields, object(t, "{"+needs[key]+"}"))
 			}
-			if Kinds()[kind].List {
+			if ResourceKinds()[kind].List {
 				r.Name = map[string]string{"class": "look", "client": "desk", "pool": "app", "route": "r"}[kind]
 				if r.Name == "" {
 					r.Name = "one"
@@ -291,7 +291,7 @@
 	if got := fmt.Sprint(c.Site.Classes); got != "[look book zoom]" || c.Site.Settings.Classes[0].PriorityWeight != 2 {
 		t.Errorf("classes %s", got)
 	}
-	if c.Requests.Open != 500 || c.Requests.InFlight != 0 || c.Requests.InFlightLeast != 5 {
+	if c.Requests.MaxOpen != 500 || c.Requests.InFlight != 0 || c.Requests.MinInFlight != 5 {
 		t.Errorf("requests %+v", c.Requests)
 	}
 	if len(c.Clients) != 2 || c.Clients[0].Weight != 3 || c.Clients[1].Name != "new" || c.Clients[1].Weight != 2.5 {
@@ -336,7 +336,7 @@
 			t.Errorf("got %v\nwant %s", err, want)
 		}
 	}
-	if _, err := Combine(file, make([]Resource, resourcesMost+1)); err == nil {
+	if _, err := Combine(file, make([]Resource, maxResources+1)); err == nil {
 		t.Error("too many resources were taken")
 	}
 }
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -16,18 +16,18 @@
 
 // Pool is a named set of endpoints. Exactly one of Endpoints, File and Discovery tells which they are.
 type Pool struct {
-	Name        string    `toml:"name"`
-	Endpoints   *[]string `toml:"endpoints"` // host:port each; nil where the key is missing
-	File        string    `toml:"file"`      // in discovery's form; it is read again when it changes
-	Discovery   string    `toml:"discovery"` // host:port of a discovery
-	RetryBudget float64   `toml:"retry_budget"`
-	RetryLeast  *float64  `toml:"retry_least"` // a second; nil where the key is missing
+	Name         string    `toml:"name"`
+	Endpoints    *[]string `toml:"endpoints"` // host:port each; nil where the key is missing
+	File         string    `toml:"file"`      // in discovery's form; it is read again when it changes
+	Discovery    string    `toml:"discovery"` // host:port of a discovery
+	RetryBudget  float64   `toml:"retry_budget"`
+	MinRetryRate *float64  `toml:"retry_least"` // a second; nil where the key is missing
 }
 
 // RetryWithin is the time over which the pool's budget of further tries holds, with nothing saved up; 0 where the pool has
 // no budget of its own.
 func (p *Pool) RetryWithin() time.Duration {
-	if p.RetryBudget == 0 && p.RetryLeast == nil {
+	if p.RetryBudget == 0 && p.MinRetryRate == nil {
 		return 0
 	}
 	return time.Second
@@ -36,10 +36,10 @@
 // Least is how many further tries a second are let go whatever the budget: one without the key, as a pool that is seldom
 // asked would have none.
 func (p *Pool) Least() float64 {
-	if p.RetryLeast == nil {
+	if p.MinRetryRate == nil {
 		return 1
 	}
-	return *p.RetryLeast
+	return *p.MinRetryRate
 }
 
 // Source tells in words where a pool has its list from.
@@ -70,15 +70,15 @@
 	ID       string `toml:"id"`  // "header:NAME"
 	Deadline string `toml:"deadline"`
 
-	Tries      int                 `toml:"tries"`
-	BodyMost   stricttoml.Size     `toml:"body_most"` // 0 is no bound
-	BodyHold   stricttoml.Size     `toml:"body_hold"`
-	AnswerMost stricttoml.Size     `toml:"answer_most"`
-	AnswerHold stricttoml.Size     `toml:"answer_hold"`
-	Idle       stricttoml.Duration `toml:"idle"`
-	Whole      stricttoml.Duration `toml:"whole"`
-	Errors     []int               `toml:"errors"` // statuses that count as an error of the endpoint
-	Full       []int               `toml:"full"`   // and, with Retry-After, as turned away
+	MaxAttempts       int                 `toml:"tries"`
+	MaxBody           stricttoml.Size     `toml:"body_most"` // 0 is no bound
+	MaxBodyHeld       stricttoml.Size     `toml:"body_hold"`
+	MaxResponse       stricttoml.Size     `toml:"answer_most"`
+	MaxResponseHeld   stricttoml.Size     `toml:"answer_hold"`
+	IdleTimeout       stricttoml.Duration `toml:"idle"`
+	TotalTimeout      stricttoml.Duration `toml:"whole"`
+	ErrorStatuses     []int               `toml:"errors"` // statuses that count as an error of the endpoint
+	RejectionStatuses []int               `toml:"full"`   // and, with Retry-After, as turned away
 
 	ToHost      string `toml:"to_host"`
 	StripPrefix string `toml:"strip_prefix"`
@@ -86,12 +86,12 @@
 	Forwarded   string `toml:"forwarded"` // "as-is", "none", "x-forwarded" or "rfc7239"
 	Trusted     bool   `toml:"trusted"`
 
-	Request Edits `toml:"request"`
-	Answer  Edits `toml:"answer"`
+	Request  HeaderEdits `toml:"request"`
+	Response HeaderEdits `toml:"answer"`
 }
 
 // Edits are changes of headers. What is removed goes first.
-type Edits struct {
+type HeaderEdits struct {
 	Remove []string          `toml:"remove"`
 	Set    map[string]string `toml:"set"`
 	Add    map[string]string `toml:"add"`
@@ -109,19 +109,19 @@
 )
 
 // Forwarding are the words for what endpoints are told of clients.
-var Forwarding = []string{"as-is", "none", "x-forwarded", "rfc7239"}
+var ForwardedModes = []string{"as-is", "none", "x-forwarded", "rfc7239"}
 
 // fill gives routes and pools what they mean without a key. The library has set what stands in the file.
-func (c *Config) fill() {
+func (c *Config) setRouteDefaults() {
 	if len(c.Routes) == 0 {
 		return
 	}
 	if len(c.Classes) == 0 {
 		aim, end := stricttoml.Duration{Duration: 10 * time.Second}, stricttoml.Duration{Duration: 30 * time.Second}
-		c.Classes = []Class{{Name: ReadClass, Repeat: "safe", Aim: aim, GiveUp: end}, {Name: WriteClass, Repeat: "unsafe", Aim: aim, GiveUp: end}}
+		c.Classes = []Class{{Name: ReadClass, Idempotency: "safe", LatencyObjective: aim, ClientTimeout: end}, {Name: WriteClass, Idempotency: "unsafe", LatencyObjective: aim, ClientTimeout: end}}
 	}
-	if len(c.Clients) == 0 && c.Others == nil {
-		c.Others = &Bounds{}
+	if len(c.Clients) == 0 && c.OtherClients == nil {
+		c.OtherClients = &ClientLimits{}
 	}
 	for i := range c.Listeners {
 		if l := &c.Listeners[i]; l.Name == "" {
@@ -130,27 +130,27 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		r.Forwarded = or(r.Forwarded, Forwarding[0])
-		for size, without := range map[*stricttoml.Size]int64{&r.BodyHold: 64 << 10, &r.AnswerHold: 64 << 10} {
+		r.Forwarded = orDefault(r.Forwarded, ForwardedModes[0])
+		for size, without := range map[*stricttoml.Size]int64{&r.MaxBodyHeld: 64 << 10, &r.MaxResponseHeld: 64 << 10} {
 			if size.Bytes == 0 {
 				size.Bytes = without
 			}
 		}
-		for time, without := range map[*stricttoml.Duration]stricttoml.Duration{&r.Idle: {Duration: 30 * time.Second}, &r.Whole: {Duration: 10 * time.Minute}} {
+		for time, without := range map[*stricttoml.Duration]stricttoml.Duration{&r.IdleTimeout: {Duration: 30 * time.Second}, &r.TotalTimeout: {Duration: 10 * time.Minute}} {
 			if time.Duration == 0 {
 				*time = without
 			}
 		}
-		if r.Errors == nil {
-			r.Errors = []int{500, 502, 504}
+		if r.ErrorStatuses == nil {
+			r.ErrorStatuses = []int{500, 502, 504}
 		}
-		if r.Full == nil {
-			r.Full = []int{429, 503}
+		if r.RejectionStatuses == nil {
+			r.RejectionStatuses = []int{429, 503}
 		}
 	}
 }
 
-func or(s, without string) string {
+func orDefault(s, without string) string {
 	if s == "" {
 		return without
 	}
@@ -158,10 +158,10 @@
 }
 
 // HoldMost is the most that may be held of a body or an answer.
-const HoldMost = 1 << 20
+const MaxHeldBytes = 1 << 20
 
 // routes checks pools and routes, and makes the table.
-func (k *check) routes(c *Config) {
+func (k *validator) routes(c *Config) {
 	stricttoml.Enum(&k.Validation, "paths.encoded_slash", c.Paths.EncodedSlash, map[string]bool{"refuse": true, "keep": true})
 	pools := map[string]bool{}
 	for i := range c.Pools {
@@ -211,14 +211,14 @@
 	switch {
 	case errors.As(err, &bad):
 		key := map[string]string{"method": "methods", "header": "headers"}[bad.Key]
-		k.Require(false, fmt.Sprintf("route.%d.%s", bad.Index, or(key, bad.Key)), "%s", bad.Reason)
+		k.Require(false, fmt.Sprintf("route.%d.%s", bad.Index, orDefault(key, bad.Key)), "%s", bad.Reason)
 	case errors.As(err, &conflict):
 		k.Require(false, fmt.Sprintf("route.%d", conflict.Second), "can take the same request as the route on line %d, and neither is more specific",
 			k.Lines[fmt.Sprintf("route.%d", conflict.First)])
 	}
 	c.Table = table
 	for i := range c.Routes {
-		for key, source := range c.Routes[i].sources() {
+		for key, source := range c.Routes[i].valueSources() {
 			if name, ok := strings.CutPrefix(*source, "path:"); ok && table != nil {
 				_, known := table.ParameterIndex(i, name)
 				k.Require(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
@@ -227,14 +227,14 @@
 	}
 }
 
-func (r *Route) sources() map[string]*string {
+func (r *Route) valueSources() map[string]*string {
 	return map[string]*string{"tenant": &r.Tenant, "object": &r.Object, "key": &r.Key, "id": &r.ID, "deadline": &r.Deadline}
 }
 
 // own are fields that no edit may touch: they are the program's to set.
-var own = []string{"Connection", "Content-Length", "Transfer-Encoding", "Host", "Te", "Trailer", "Upgrade", "Keep-Alive"}
+var reservedHeaders = []string{"Connection", "Content-Length", "Transfer-Encoding", "Host", "Te", "Trailer", "Upgrade", "Keep-Alive"}
 
-func (k *check) route(c *Config, i int, pools, names map[string]bool) {
+func (k *validator) route(c *Config, i int, pools, names map[string]bool) {
 	r := &c.Routes[i]
 	at := func(key string) string { return fmt.Sprintf("route.%d.%s", i, key) }
 	k.Require(r.Name == "" || !names[r.Name], at("name"), "%q is named twice", r.Name)
@@ -250,9 +250,9 @@
 			k.Require(false, at("class"), "no class is named %q", name)
 			continue
 		}
-		k.Require(c.Classes[j].Repeat != "keyed" || r.Key != "", at("key"), "is missing: class %q is keyed", name)
+		k.Require(c.Classes[j].Idempotency != "keyed" || r.Key != "", at("key"), "is missing: class %q is keyed", name)
 	}
-	for key, source := range r.sources() {
+	for key, source := range r.valueSources() {
 		name, header := strings.CutPrefix(*source, "header:")
 		_, path := strings.CutPrefix(*source, "path:")
 		fixed := strings.HasPrefix(*source, "=")
@@ -260,7 +260,7 @@
 		case *source == "":
 		case header:
 			k.Require(http1msg.IsToken(name), at(key), "%q is no name of a header", name)
-			k.Require(!slices.Contains(own, http.CanonicalHeaderKey(name)), at(key), "%s tells how a message is framed, nothing else", name)
+			k.Require(!slices.Contains(reservedHeaders, http.CanonicalHeaderKey(name)), at(key), "%s tells how a message is framed, nothing else", name)
 		case key == "key" || key == "id" || key == "deadline":
 			k.Require(false, at(key), "%q is no header, as \"header:NAME\"", *source)
 		case path, fixed, *source == "client":
@@ -271,19 +271,19 @@
 	for name := range r.Headers {
 		k.Require(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
 	}
-	k.Require(r.Tries >= 0, at("tries"), "%d is negative", r.Tries)
-	for key, size := range map[string]stricttoml.Size{"body_hold": r.BodyHold, "answer_hold": r.AnswerHold} {
-		k.Require(size.Bytes <= HoldMost, at(key), "over 1MiB: what is larger streams")
+	k.Require(r.MaxAttempts >= 0, at("tries"), "%d is negative", r.MaxAttempts)
+	for key, size := range map[string]stricttoml.Size{"body_hold": r.MaxBodyHeld, "answer_hold": r.MaxResponseHeld} {
+		k.Require(size.Bytes <= MaxHeldBytes, at(key), "over 1MiB: what is larger streams")
 	}
-	k.Require(r.AnswerMost.Bytes == 0 || r.AnswerMost.Bytes >= r.AnswerHold.Bytes, at("answer_most"), "is under answer_hold")
-	k.Require(r.Idle.Duration <= r.Whole.Duration, at("idle"), "%v is over whole, %v", r.Idle, r.Whole)
-	for key, codes := range map[string][]int{"errors": r.Errors, "full": r.Full} {
+	k.Require(r.MaxResponse.Bytes == 0 || r.MaxResponse.Bytes >= r.MaxResponseHeld.Bytes, at("answer_most"), "is under answer_hold")
+	k.Require(r.IdleTimeout.Duration <= r.TotalTimeout.Duration, at("idle"), "%v is over whole, %v", r.IdleTimeout, r.TotalTimeout)
+	for key, codes := range map[string][]int{"errors": r.ErrorStatuses, "full": r.RejectionStatuses} {
 		for _, code := range codes {
 			k.Require(code >= 400 && code < 600, at(key), "%d is no status in 400..599", code)
 		}
 	}
 	k.Require(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
-	k.Require(r.StripPrefix == "" || r.stripped(), at("strip_prefix"), "%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
+	k.Require(r.StripPrefix == "" || r.prefixIsStrippable(), at("strip_prefix"), "%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
 	if r.AddPrefix != "" {
 		normal, err := route.NormalizePath(r.AddPrefix, route.KeepEncodedSlashes)
 		k.Require(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
@@ -291,7 +291,7 @@
 	}
 	stricttoml.Enum(&k.Validation, at("forwarded"), r.Forwarded, map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
 	k.Require(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"), "means nothing with forwarded = %q", r.Forwarded)
-	for key, e := range map[string]*Edits{"request": &r.Request, "answer": &r.Answer} {
+	for key, e := range map[string]*HeaderEdits{"request": &r.Request, "answer": &r.Response} {
 		k.edits(at(key), e)
 	}
 	for key, source := range map[string]string{"key": r.Key, "id": r.ID, "deadline": r.Deadline} {
@@ -301,23 +301,23 @@
 }
 
 // stripped says whether the prefix is one of all paths that the route takes.
-func (r *Route) stripped() bool {
+func (r *Route) prefixIsStrippable() bool {
 	rest, ok := strings.CutPrefix(r.Path, r.StripPrefix)
 	return ok && strings.HasPrefix(r.StripPrefix, "/") && !strings.HasSuffix(r.StripPrefix, "/") && !strings.ContainsAny(r.StripPrefix, "{*") &&
 		(rest == "" || rest[0] == '/')
 }
 
 // touches says whether a header is changed.
-func (e *Edits) touches(name string) bool {
+func (e *HeaderEdits) touches(name string) bool {
 	is := func(other string) bool { return strings.EqualFold(name, other) }
 	return slices.ContainsFunc(e.Remove, is) || slices.ContainsFunc(slices.Collect(maps.Keys(e.Set)), is) ||
 		slices.ContainsFunc(slices.Collect(maps.Keys(e.Add)), is)
 }
 
-func (k *check) edits(at string, e *Edits) {
+func (k *validator) edits(at string, e *HeaderEdits) {
 	name := func(key, name string) {
 		k.Require(http1msg.IsToken(name), at+"."+key, "%q is no name of a header", name)
-		k.Require(!slices.Contains(own, http.CanonicalHeaderKey(name)), at+"."+key, "%s is not to be changed", name)
+		k.Require(!slices.Contains(reservedHeaders, http.CanonicalHeaderKey(name)), at+"."+key, "%s is not to be changed", name)
 	}
 	for _, n := range e.Remove {
 		name("remove", n)
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -27,8 +27,8 @@
 		t.Fatal(err)
 	}
 	r := c.Routes[0]
-	if c.Table == nil || len(c.Classes) != 2 || c.Others == nil || c.Listeners[0].Name != "127.0.0.1:0" || r.BodyHold.Bytes != 64<<10 ||
-		r.Idle.Duration != 30*time.Second || !reflect.DeepEqual(r.Errors, []int{500, 502, 504}) || r.Forwarded != "as-is" {
+	if c.Table == nil || len(c.Classes) != 2 || c.OtherClients == nil || c.Listeners[0].Name != "127.0.0.1:0" || r.MaxBodyHeld.Bytes != 64<<10 ||
+		r.IdleTimeout.Duration != 30*time.Second || !reflect.DeepEqual(r.ErrorStatuses, []int{500, 502, 504}) || r.Forwarded != "as-is" {
 		t.Errorf("%+v", c)
 	}
 	if got := c.Table.Match("any", "/a/b", "PURGE", nil); got != 0 {
@@ -45,7 +45,7 @@
 	if _, err := Parse(text); err != nil {
 		t.Fatal(err)
 	}
-	for _, v := range []any{Pool{}, Route{}, Paths{}, Edits{}} {
+	for _, v := range []any{Pool{}, Route{}, Paths{}, HeaderEdits{}} {
 		of := reflect.TypeOf(v)
 		for i := range of.NumField() {
 			key := of.Field(i).Tag.Get("toml")
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -29,7 +29,7 @@
 			return nil
 		}}
 	var of []*jsonschema.Schema
-	kinds := Kinds()
+	kinds := ResourceKinds()
 	for _, name := range slices.Sorted(maps.Keys(kinds)) {
 		k := kinds[name]
 		fields := r.ReflectFromType(k.Type)
@@ -39,14 +39,14 @@
 		s.Properties.Set("kind", &jsonschema.Schema{Const: name})
 		if k.List {
 			fields.Properties.Delete("name")
-			most := uint64(nameMost)
+			most := uint64(maxNameLength)
 			s.Properties.Set("name", &jsonschema.Schema{Type: "string", MaxLength: &most})
 			s.Required = []string{"kind", "name", "fields"}
 		}
 		s.Properties.Set("fields", fields)
 		of = append(of, s)
 	}
-	most := uint64(resourcesMost)
+	most := uint64(maxResources)
 	all := &jsonschema.Schema{Version: jsonschema.Version, Title: "A version of dunlinsaild's configuration", Type: "array", MaxItems: &most,
 		Items: &jsonschema.Schema{OneOf: of}}
 	text, err := json.MarshalIndent(all, "", "  ")
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -10,19 +10,19 @@
 )
 
 // check gathers what is wrong.
-type check struct{ stricttoml.Validation }
+type validator struct{ stricttoml.Validation }
 
 const (
-	ownDescriptors   = 32 // neither clients' nor endpoints': streams, listeners, the runtime, discovery, takeover
-	leastDescriptors = 128
-	restPart         = 6 // see sidecar.restPart
+	reservedDescriptors = 32 // neither clients' nor endpoints': streams, listeners, the runtime, discovery, takeover
+	minDescriptors      = 128
+	idleDivisor         = 6 // see sidecar.restPart
 )
 
-func (k *check) config(c *Config) {
+func (k *validator) config(c *Config) {
 	p := &c.Process
 	k.Require(p.Cores >= 0, "process.cores", "%d is negative", p.Cores)
 	k.Require(p.Memory.Bytes >= 16<<20, "process.memory", "under 16MiB nothing can be served")
-	k.Require(p.Descriptors >= leastDescriptors, "process.descriptors", "%d is under %d", p.Descriptors, leastDescriptors)
+	k.Require(p.Descriptors >= minDescriptors, "process.descriptors", "%d is under %d", p.Descriptors, minDescriptors)
 
 	k.routes(c)
 	k.Require(len(c.Routes) > 0 || hostPort(c.Discovery.Address, 1), "discovery.address", "%q is no host:port with a port in 1..65535", c.Discovery.Address)
@@ -30,31 +30,31 @@
 
 	k.Require(c.Takeover.ReadyWithin.Duration > 0, "takeover.ready_within", "must be positive")
 
-	host, _, _ := net.SplitHostPort(c.Operators.Address)
-	k.Require(c.Operators.Address == "" || hostPort(c.Operators.Address, 1) && net.ParseIP(host).IsLoopback(), "operators.address", "%q is no host:port on loopback with a port in 1..65535", c.Operators.Address)
-	k.record(&c.Record)
+	host, _, _ := net.SplitHostPort(c.Admin.Address)
+	k.Require(c.Admin.Address == "" || hostPort(c.Admin.Address, 1) && net.ParseIP(host).IsLoopback(), "operators.address", "%q is no host:port on loopback with a port in 1..65535", c.Admin.Address)
+	k.record(&c.AccessLog)
 	k.control(c)
 	k.connections(c)
 	k.peers(c)
 	k.work(c)
 	r := &c.Requests
-	k.Require(r.Open >= 1, "requests.open", "%d: must be at least 1", r.Open)
+	k.Require(r.MaxOpen >= 1, "requests.open", "%d: must be at least 1", r.MaxOpen)
 	k.Require(r.InFlight >= 0, "requests.in_flight", "%d is negative", r.InFlight)
-	k.Require(r.InFlightLeast >= 1, "requests.in_flight_least", "%d: must be at least 1", r.InFlightLeast)
-	k.Require(r.InFlightMost >= r.InFlightLeast, "requests.in_flight_most", "%d is under in_flight_least, %d",
-		r.InFlightMost, r.InFlightLeast)
+	k.Require(r.MinInFlight >= 1, "requests.in_flight_least", "%d: must be at least 1", r.MinInFlight)
+	k.Require(r.MaxInFlight >= r.MinInFlight, "requests.in_flight_most", "%d is under in_flight_least, %d",
+		r.MaxInFlight, r.MinInFlight)
 
 	k.clients(c)
 	k.site(c, subscribe)
 }
 
-func (k *check) record(r *Record) {
+func (k *validator) record(r *AccessLog) {
 	k.Require(r.Dir == "" || strings.HasPrefix(r.Dir, "/"), "record.dir", "%q: must begin with /", r.Dir)
-	k.Require(r.Dir == "" || r.Secret != "", "record.secret", "is missing: a file whose text keys and objects are hashed with")
-	k.Require(r.Sample > 0 && r.Sample <= 1, "record.sample", "%v: must be over 0, to 1", r.Sample)
+	k.Require(r.Dir == "" || r.SecretFile != "", "record.secret", "is missing: a file whose text keys and objects are hashed with")
+	k.Require(r.SampleRate > 0 && r.SampleRate <= 1, "record.sample", "%v: must be over 0, to 1", r.SampleRate)
 	k.Require(r.SegmentRows >= 100 && r.SegmentRows <= 1_000_000, "record.segment_rows", "%d: must be in 100..1000000", r.SegmentRows)
 	k.Require(r.SegmentAge.Duration >= 100*time.Millisecond && r.SegmentAge.Duration <= time.Hour, "record.segment_age", "%v: must be in 100ms..1h", r.SegmentAge)
-	k.Require(r.Keep.Bytes == 0 || r.Keep.Bytes >= 1<<20, "record.keep", "under 1MiB nothing is kept; \"0B\" is no bound")
+	k.Require(r.MaxBytes.Bytes == 0 || r.MaxBytes.Bytes >= 1<<20, "record.keep", "under 1MiB nothing is kept; \"0B\" is no bound")
 }
 
 // hostPort says whether an address is a host with a port in numbers, no lower than least.
--- a/internal/config/validate_clients.go
+++ b/internal/config/validate_clients.go
@@ -10,28 +10,28 @@
 )
 
 // connections checks the bounds on connections, and fills in those that are left to the descriptors.
-func (k *check) connections(c *Config) {
-	n, free := &c.Connections, c.Process.Descriptors-ownDescriptors
-	if n.Clients == 0 {
-		n.Clients = free / 2
+func (k *validator) connections(c *Config) {
+	n, free := &c.Connections, c.Process.Descriptors-reservedDescriptors
+	if n.MaxClients == 0 {
+		n.MaxClients = free / 2
 	}
-	if n.Endpoints == 0 {
-		n.Endpoints = max(1, free-n.Clients)
+	if n.MaxEndpoints == 0 {
+		n.MaxEndpoints = max(1, free-n.MaxClients)
 	}
-	if n.AtRest == 0 {
-		n.AtRest = max(1, min(n.Clients, free/restPart))
+	if n.MaxIdle == 0 {
+		n.MaxIdle = max(1, min(n.MaxClients, free/idleDivisor))
 	}
-	k.Require(n.Clients >= 1, "connections.clients", "%d: must be at least 1", n.Clients)
-	k.Require(n.Endpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.Endpoints)
-	k.Require(n.Clients+n.Endpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
-		"process.descriptors leaves", n.Clients, n.Endpoints, free)
-	k.Require(n.AtRest >= 1 && n.AtRest <= n.Clients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
-		n.AtRest, n.Clients)
-	k.Require(n.RestMost.Duration > 0, "connections.rest_most", "must be positive")
-	k.Require(n.RestLeast.Duration <= n.RestMost.Duration, "connections.rest_least", "%v is over rest_most, %v", n.RestLeast, n.RestMost)
+	k.Require(n.MaxClients >= 1, "connections.clients", "%d: must be at least 1", n.MaxClients)
+	k.Require(n.MaxEndpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.MaxEndpoints)
+	k.Require(n.MaxClients+n.MaxEndpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
+		"process.descriptors leaves", n.MaxClients, n.MaxEndpoints, free)
+	k.Require(n.MaxIdle >= 1 && n.MaxIdle <= n.MaxClients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
+		n.MaxIdle, n.MaxClients)
+	k.Require(n.MaxIdleTime.Duration > 0, "connections.rest_most", "must be positive")
+	k.Require(n.MinIdleTime.Duration <= n.MaxIdleTime.Duration, "connections.rest_least", "%v is over rest_most, %v", n.MinIdleTime, n.MaxIdleTime)
 }
 
-func (k *check) clients(c *Config) {
+func (k *validator) clients(c *Config) {
 	names := map[string]bool{}
 	uids, gids := map[uint32]string{}, map[uint32]string{}
 	for i := range c.Clients {
@@ -40,7 +40,7 @@
 		k.Require(cl.Name != "", at("name"), "is missing")
 		k.Require(!names[cl.Name], at("name"), "%q is named twice", cl.Name)
 		names[cl.Name] = true
-		k.bounds(&cl.Bounds, at)
+		k.bounds(&cl.ClientLimits, at)
 		for of, ids := range map[string][]uint32{"uids": cl.UIDs, "gids": cl.GIDs} {
 			taken := map[string]map[uint32]string{"uids": uids, "gids": gids}[of]
 			for _, id := range ids {
@@ -49,8 +49,8 @@
 			}
 		}
 	}
-	if c.Others != nil {
-		k.bounds(c.Others, func(key string) string { return "others." + key })
+	if c.OtherClients != nil {
+		k.bounds(c.OtherClients, func(key string) string { return "others." + key })
 	}
 	k.Require(len(c.Listeners) > 0, "listener", "at least one is needed")
 	listeners, addresses := map[string]bool{}, map[string]bool{}
@@ -74,21 +74,21 @@
 			k.Require(hostPort(address, 0) && ip != nil && ip.IsLoopback(), at("address"),
 				"%q is neither a loopback address with a port up to 65535, as \"127.0.0.1:8080\", nor \"unix:/path\"", l.Address)
 			k.Require(l.Mode.Bits == 0, at("mode"), "is for unix sockets only")
-			k.Require(l.Client != "" || c.Others != nil, at("client"), "is missing, and there is no table others")
+			k.Require(l.Client != "" || c.OtherClients != nil, at("client"), "is missing, and there is no table others")
 		}
 		k.Require(l.Client == "" || names[l.Client], at("client"), "no client is named %q", l.Client)
 	}
 }
 
-func (k *check) bounds(b *Bounds, at func(string) string) {
+func (k *validator) bounds(b *ClientLimits, at func(string) string) {
 	if b.Weight == 0 {
 		b.Weight = 1
 	}
 	k.Require(b.Weight > 0 && !math.IsInf(b.Weight, 0), at("weight"), "%v: must be positive", b.Weight)
-	k.Require(b.Connections >= 0, at("connections"), "%d is negative", b.Connections)
-	k.Require(b.Open >= 0, at("open_requests"), "%d is negative", b.Open)
+	k.Require(b.MaxConnections >= 0, at("connections"), "%d is negative", b.MaxConnections)
+	k.Require(b.MaxOpen >= 0, at("open_requests"), "%d is negative", b.MaxOpen)
 	k.Require(b.Rate >= 0 && !math.IsInf(b.Rate, 0), at("requests_per_second"), "%v: must not be negative", b.Rate)
 	k.Require(b.Burst == 0 || b.Rate > 0, at("burst"), "means nothing without requests_per_second")
 	k.Require(b.Burst == 0 || b.Burst >= 1, at("burst"), "%v: must be at least 1", b.Burst)
-	k.Require(b.Bytes.Bytes == 0 || b.Bytes.Bytes >= siteconfig.MaxBodyBytes, at("bytes_held"), "under %d a whole body does not fit", siteconfig.MaxBodyBytes)
+	k.Require(b.MaxBytesHeld.Bytes == 0 || b.MaxBytesHeld.Bytes >= siteconfig.MaxBodyBytes, at("bytes_held"), "under %d a whole body does not fit", siteconfig.MaxBodyBytes)
 }
--- a/internal/daemon/accesslog.go
+++ b/internal/daemon/accesslog.go
@@ -10,21 +10,21 @@
 
 // openAccessLog starts the access log, where the file configures one.
 func (d *generation) openAccessLog() error {
-	c := &d.options.Config.Record
+	c := &d.options.Config.AccessLog
 	if c.Dir == "" {
 		return nil
 	}
 	var err error
-	if d.keyHasher, err = accesslog.NewHasher(c.Secret); err != nil {
+	if d.keyHasher, err = accesslog.NewHasher(c.SecretFile); err != nil {
 		return fmt.Errorf("access record: %w", err)
 	}
 	d.recorder, err = accesslog.NewWriter(accesslog.Options{
 		Dir:      c.Dir,
 		Instance: d.options.Config.Name,
-		Sample:   c.Sample,
+		Sample:   c.SampleRate,
 		Rows:     c.SegmentRows,
 		Age:      c.SegmentAge.Duration,
-		Keep:     c.Keep.Bytes,
+		Keep:     c.MaxBytes.Bytes,
 		Log:      d.log,
 	})
 	if err != nil {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -13,7 +13,7 @@
 
 // serveAdmin serves operators' calls, where an address for them is configured.
 func (d *generation) serveAdmin() error {
-	addr := d.config.Operators.Address
+	addr := d.config.Admin.Address
 	if addr == "" || d.stopAdmin != nil {
 		return nil
 	}
--- a/internal/daemon/canary.go
+++ b/internal/daemon/canary.go
@@ -12,8 +12,8 @@
 func (p *process) startCanary() {
 	c := &p.control
 	s := canary.Settings{
-		Duration:      c.Trial.Micros(),
-		HarmMargin:    c.Margin,
+		Duration:      c.CanaryDuration.Micros(),
+		HarmMargin:    c.HarmMargin,
 		Alpha:         c.Alpha,
 		MaxExtensions: maxCanaryRestarts,
 	}
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -51,8 +51,8 @@
 	return k, err
 }
 
-func spec(name string, b *config.Bounds) http1.ClientSettings {
-	return http1.ClientSettings{ClientSpec: b.Share(name), MaxConnections: b.Connections, MaxBytes: b.Bytes.Bytes}
+func spec(name string, b *config.ClientLimits) http1.ClientSettings {
+	return http1.ClientSettings{ClientSpec: b.Share(name), MaxConnections: b.MaxConnections, MaxBytes: b.MaxBytesHeld.Bytes}
 }
 
 // change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
@@ -77,13 +77,13 @@
 	for i := range c.Clients {
 		cl := &c.Clients[i]
 		to := k.byName[cl.Name]
-		if old, ok := was[cl.Name]; !ok || old.Bounds != cl.Bounds {
-			if to, err = set(to, spec(cl.Name, &cl.Bounds)); err != nil {
+		if old, ok := was[cl.Name]; !ok || old.ClientLimits != cl.ClientLimits {
+			if to, err = set(to, spec(cl.Name, &cl.ClientLimits)); err != nil {
 				return changed, err
 			}
 			for p, s := range k.processes {
 				if p.client == cl.Name {
-					if err := k.front.UpdateClient(s.client, spec(s.client.Name, &cl.Bounds)); err != nil {
+					if err := k.front.UpdateClient(s.client, spec(s.client.Name, &cl.ClientLimits)); err != nil {
 						return changed, err
 					}
 				}
@@ -93,10 +93,10 @@
 	}
 	others := k.defaultClient
 	switch {
-	case c.Others == nil:
+	case c.OtherClients == nil:
 		others = nil
-	case k.config == nil || k.config.Others == nil || *k.config.Others != *c.Others:
-		if others, err = set(others, spec(othersName, c.Others)); err != nil {
+	case k.config == nil || k.config.OtherClients == nil || *k.config.OtherClients != *c.OtherClients:
+		if others, err = set(others, spec(othersName, c.OtherClients)); err != nil {
 			return changed, err
 		}
 	}
@@ -167,7 +167,7 @@
 	p := clientProcess{rule.Name, pid}
 	s := k.processes[p]
 	if s == nil {
-		client, err := k.front.NewClient(spec(fmt.Sprintf("%s/%d", rule.Name, pid), &rule.Bounds))
+		client, err := k.front.NewClient(spec(fmt.Sprintf("%s/%d", rule.Name, pid), &rule.ClientLimits))
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -57,7 +57,7 @@
 		replies:    map[uint64]chan consensus.OperatorReply{},
 	}
 	var disk consensus.LogStore
-	if path := d.config.Work.State; path != "" {
+	if path := d.config.Maintenance.StateFile; path != "" {
 		var err error
 		if x.file, err = consensus.OpenBoltStore(path); err != nil {
 			d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -64,7 +64,7 @@
 	d.upstreams = upstream.New(upstream.Options{
 		Clock:       clk,
 		Log:         o.Log,
-		Most:        n.Endpoints,
+		Most:        n.MaxEndpoints,
 		DialTimeout: c.Attempts.DialTimeout.Duration,
 		KeepAlive:   c.Site.KeepAlive,
 		Fields:      c.Site.LoadReportFields,
@@ -102,11 +102,11 @@
 		front.Pool = p.endpoints
 	}
 	var err error
-	if c.Control.Tries() {
+	if c.ControlPlane.CanaryEnabled() {
 		d.tally = &canaryTally{}
 		d.tally.setObjectives(c.Site.Settings.Classes, nil)
 	}
-	if c.Record.Dir != "" || d.tally != nil {
+	if c.AccessLog.Dir != "" || d.tally != nil {
 		front.RecordExchange = d.recordExchange
 	}
 	if d.front, err = http1.New(front); err != nil {
@@ -155,7 +155,7 @@
 
 // changesLive reports whether a configuration can be applied while serving, and which tables prevent it.
 func (d *generation) changesLive(next *config.Config) (tables []string, ok bool) {
-	tables = d.options.Config.Differs(next) // from what it was put together by, however often it has been changed since
+	tables = d.options.Config.TablesNeedingRestart(next) // from what it was put together by, however often it has been changed since
 	return tables, len(tables) == 0
 }
 
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -15,7 +15,7 @@
 
 // joinCoordination has the core coordinate with the other instances, where the configuration says so.
 func (d *generation) joinCoordination() error {
-	t := d.config.Together(d.options.Seed)
+	t := d.config.Coordination(d.options.Seed)
 	if t == nil {
 		return nil
 	}
@@ -43,7 +43,7 @@
 		Fleet:         c.Fleet,
 		Address:       c.Address,
 		Join:          c.Join,
-		DialVia:       c.Via(),
+		DialVia:       c.AddressOverrides(),
 		Log:           d.log,
 		HandleMessage: d.core.ReceiveFleetMessage,
 	}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -38,8 +38,8 @@
 		RetryShare:        conf.RetryBudget,
 		RetryLeast:        conf.Least(),
 		RetryWithin:       clock.Micros(conf.RetryWithin()),
-		Overload:          d.config.Overload.Decides(d.config.Fleet.Instances),
-		Subset:            d.config.Fleet.Part(),
+		Overload:          d.config.Overload.Settings(d.config.Fleet.Instances),
+		Subset:            d.config.Fleet.SubsetSettings(),
 		OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) },
 		SetWatch:          func(bool) {},
 	}
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -131,7 +131,7 @@
 	w := newWorld(t, 1, endpoint.Options{})
 	dir, was, is := recording(t, w)
 	c := w.config(t, was, is)
-	c.Record.Secret = filepath.Join(w.dir, "none")
+	c.AccessLog.SecretFile = filepath.Join(w.dir, "none")
 	if err := Run(context.Background(), Options{Config: c, Log: testLog()}); err == nil || !strings.Contains(err.Error(), "access record") {
 		t.Errorf("without its secret: %v", err)
 	}
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -31,7 +31,7 @@
 	cache     *configcache.Cache           // nil where nothing is kept
 	saving    sync.WaitGroup
 
-	control       config.Control // as it is followed
+	control       config.ControlPlane // as it is followed
 	client        *xdsclient.Client
 	stopFollowing context.CancelFunc // ends that
 	following     sync.WaitGroup
@@ -53,10 +53,10 @@
 const maxCanaryRestarts = 3
 
 // machineSettings returns the settings of the rollout's machine.
-func machineSettings(c *config.Control, seed uint64) rollout.Settings {
-	s := rollout.Settings{CanaryEnabled: c.Tries(), MinValidationInterval: clock.Micros(fileCheckGap), Seed: seed}
+func machineSettings(c *config.ControlPlane, seed uint64) rollout.Settings {
+	s := rollout.Settings{CanaryEnabled: c.CanaryEnabled(), MinValidationInterval: clock.Micros(fileCheckGap), Seed: seed}
 	if c.Address != "" {
-		s.MinValidationInterval = c.Gap.Micros()
+		s.MinValidationInterval = c.MinValidationInterval.Micros()
 	}
 	return s
 }
@@ -152,7 +152,7 @@
 	p.appliedStep = nil
 	p.carryOut(done(now(), reason))
 	if c, err := p.configOf(first(p.machine.Running())); err == nil {
-		p.machine.UpdateSettings(machineSettings(&c.Control, 0))
+		p.machine.UpdateSettings(machineSettings(&c.ControlPlane, 0))
 		p.followService(c)
 	}
 }
@@ -176,7 +176,7 @@
 	case s.Confirmed:
 		p.log.Info("configuration applied", "version", id)
 	default:
-		p.log.Info("configuration applied, on trial", "version", id, "for", p.control.Trial.Duration)
+		p.log.Info("configuration applied, on trial", "version", id, "for", p.control.CanaryDuration.Duration)
 	}
 	if s.Version.Source == rollout.SourceControlPlane && p.client != nil {
 		if s.Action == rollout.ActionNack {
--- a/internal/daemon/rollout_source.go
+++ b/internal/daemon/rollout_source.go
@@ -29,19 +29,19 @@
 
 // followService follows the control service that a configuration names, if it is another than before.
 func (p *process) followService(c *config.Config) {
-	if reflect.DeepEqual(p.control, c.Control) {
+	if reflect.DeepEqual(p.control, c.ControlPlane) {
 		return
 	}
 	p.stopFollowing()
 	p.stopFollowing = func() {}
 	p.client = nil
-	p.control = c.Control
-	if c.Control.Address == "" {
+	p.control = c.ControlPlane
+	if c.ControlPlane.Address == "" {
 		return
 	}
 	var client *xdsclient.Client
 	client, err := xdsclient.New(xdsclient.Options{
-		Settings:     c.Control,
+		Settings:     c.ControlPlane,
 		InstanceName: c.Name,
 		Zone:         c.Fleet.Zone,
 		Applied:      p.runningServiceVersion(),
@@ -62,7 +62,7 @@
 	ctx, p.stopFollowing = context.WithCancel(context.Background())
 	p.client = client
 	p.following.Go(func() { client.Run(ctx) })
-	p.log.Info("versions of the configuration come from a control service", "service", c.Control.Address)
+	p.log.Info("versions of the configuration come from a control service", "service", c.ControlPlane.Address)
 }
 
 // runningServiceVersion returns which of the service's versions runs, or will in a moment; nil for none.
--- a/internal/daemon/rollout_state.go
+++ b/internal/daemon/rollout_state.go
@@ -20,15 +20,15 @@
 	p.first = file
 	running := rollout.LayeredVersion{File: p.fileVersion(file)}
 	var known rollout.PersistentState
-	if c := &file.Control; c.State != "" {
+	if c := &file.ControlPlane; c.StateDir != "" {
 		var err error
-		if p.cache, err = configcache.Open(c.State); err != nil {
-			p.log.Error("no version of the configuration will be kept", "folder", c.State, "error", err)
+		if p.cache, err = configcache.Open(c.StateDir); err != nil {
+			p.log.Error("no version of the configuration will be kept", "folder", c.StateDir, "error", err)
 		} else if k := p.loadState(); k != nil {
 			known = *k
 		}
 	}
-	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.Control.Address != "" {
+	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.ControlPlane.Address != "" {
 		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
 			p.log.Error("the last good version cannot be begun with, the file alone is", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
 		} else {
@@ -42,7 +42,7 @@
 		known.PreviousGood = known.LastKnownGood
 		known.LastKnownGood = &running
 	}
-	p.machine = rollout.New(machineSettings(&file.Control, p.options.Seed), running, known)
+	p.machine = rollout.New(machineSettings(&file.ControlPlane, p.options.Seed), running, known)
 }
 
 // sameContents reports whether two layered versions have the same contents.
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -75,17 +75,17 @@
 		IdempotencyKey: source(conf.Key),
 		RequestID:      source(conf.ID),
 		Deadline:       source(conf.Deadline),
-		MaxAttempts:    conf.Tries,
-		MaxBodyBytes:   conf.BodyMost.Bytes,
-		BufferBytes:    conf.BodyHold.Bytes,
-		StreamTimeout:  conf.Whole.Duration,
+		MaxAttempts:    conf.MaxAttempts,
+		MaxBodyBytes:   conf.MaxBody.Bytes,
+		BufferBytes:    conf.MaxBodyHeld.Bytes,
+		StreamTimeout:  conf.TotalTimeout.Duration,
 		HostOverride:   conf.ToHost,
 		StripPrefix:    conf.StripPrefix,
 		AddPrefix:      conf.AddPrefix,
 		TrustForwarded: conf.Trusted,
-		ForwardedMode:  http1.ForwardedMode(slices.Index(config.Forwarding, conf.Forwarded)),
+		ForwardedMode:  http1.ForwardedMode(slices.Index(config.ForwardedModes, conf.Forwarded)),
 		RequestEdits:   edits(&conf.Request),
-		ResponseEdits:  edits(&conf.Answer),
+		ResponseEdits:  edits(&conf.Response),
 	}
 	for name := range conf.Headers {
 		decisive[http.CanonicalHeaderKey(name)] = true
@@ -94,19 +94,19 @@
 		settings := &c.Site.Settings.Classes[class]
 		x := &upstream.Rules{
 			Unsafe: settings.Idempotency == balancer.NonIdempotent,
-			Hold:   conf.AnswerHold.Bytes,
-			Most:   conf.AnswerMost.Bytes,
-			Idle:   conf.Idle.Duration,
-			Whole:  conf.Whole.Duration,
-			Wait:   c.Classes[class].GiveUp.Duration,
+			Hold:   conf.MaxResponseHeld.Bytes,
+			Most:   conf.MaxResponse.Bytes,
+			Idle:   conf.IdleTimeout.Duration,
+			Whole:  conf.TotalTimeout.Duration,
+			Wait:   c.Classes[class].ClientTimeout.Duration,
 		}
 		if r.Deadline.Kind == http1.FromHeader {
 			x.Deadline = r.Deadline.Name
 		}
-		for _, code := range conf.Errors {
+		for _, code := range conf.ErrorStatuses {
 			x.Failure[code] = true
 		}
-		for _, code := range conf.Full {
+		for _, code := range conf.RejectionStatuses {
 			x.Full[code] = true
 		}
 		return x
@@ -116,7 +116,7 @@
 	return r
 }
 
-func edits(e *config.Edits) http1.HeaderEdits {
+func edits(e *config.HeaderEdits) http1.HeaderEdits {
 	canonical := func(of map[string]string) map[string]string {
 		all := map[string]string{}
 		for name, v := range of {
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -133,8 +133,8 @@
 		set(t, s, step.version, step.all, step.release)
 		eventually(t, s, step.version, step.say)
 		scriptedpeer.Eventually(t, step.runs, func() bool { runs, _ := d.runs(t); return runs == step.runs })
-		if runs, c := d.runs(t); runs != step.runs || c.Attempts.Most != step.most {
-			t.Errorf("after %s: %s runs, attempts.most %d", step.version, runs, c.Attempts.Most)
+		if runs, c := d.runs(t); runs != step.runs || c.Attempts.MaxAttempts != step.most {
+			t.Errorf("after %s: %s runs, attempts.most %d", step.version, runs, c.Attempts.MaxAttempts)
 		}
 	}
 	r := end()
@@ -203,8 +203,8 @@
 	begins := func(what, version string, most int, edits ...string) {
 		t.Helper()
 		d := start(t, w.config(t, edits...))
-		if runs, c := d.runs(t); runs != version || c.Attempts.Most != most {
-			t.Errorf("%s: %s runs, attempts.most %d", what, runs, c.Attempts.Most)
+		if runs, c := d.runs(t); runs != version || c.Attempts.MaxAttempts != most {
+			t.Errorf("%s: %s runs, attempts.most %d", what, runs, c.Attempts.MaxAttempts)
 		}
 		if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 			t.Errorf("%s: %s", what, resp.Status)
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -449,8 +449,8 @@
 	}
 	bounds := map[string]any{}
 	if len(r.own.Clients) > 0 {
-		b := &r.own.Clients[0].Bounds
-		bounds = map[string]any{"weight": b.Weight, "open_requests": b.Open, "requests_per_second": b.Rate}
+		b := &r.own.Clients[0].ClientLimits
+		bounds = map[string]any{"weight": b.Weight, "open_requests": b.MaxOpen, "requests_per_second": b.Rate}
 		if b.Rate > 0 {
 			bounds["burst"] = b.Burst
 		}
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -207,7 +207,7 @@
 
 // peersTable is an instance's, of its file.
 func (r *run) peersTable(in *instance, of map[string]any) map[string]any {
-	lenders := simulation.Lenders(r.own.Peers.Lenders, len(r.plan.Instances))
+	lenders := simulation.Lenders(r.own.Peers.Allocators, len(r.plan.Instances))
 	var join, ways []any
 	for i, addr := range r.peers {
 		if i != in.n && i < len(lenders) {
@@ -226,7 +226,7 @@
 
 // limits says whether tenants have limits that daemons hold.
 func (r *run) limits() bool {
-	return !isSidecar(r.o.Daemon) && slices.ContainsFunc(r.own.Tenants, func(t config.Tenant) bool { return t.Limit > 0 })
+	return !isSidecar(r.o.Daemon) && slices.ContainsFunc(r.own.Tenants, func(t config.Tenant) bool { return t.RateLimit > 0 })
 }
 
 func (r *run) spentPath(n int) string { return filepath.Join(r.dir, fmt.Sprintf("spent-%d", n)) }
@@ -265,7 +265,7 @@
 
 // lie has one more instance be among the others, which says that it wants so many times what nobody asks it for, until stop.
 func (r *run) lie(times float64) (stop func(), err error) {
-	t := r.own.Together(1)
+	t := r.own.Coordination(1)
 	if t == nil {
 		return nil, errors.New("a liar needs instances that know of one another")
 	}
@@ -280,7 +280,7 @@
 		return nil, err
 	}
 	for _, tenant := range r.own.Tenants {
-		m.SetBudget("tenant/"+tenant.Name, tenant.Limit, false)
+		m.SetBudget("tenant/"+tenant.Name, tenant.RateLimit, false)
 	}
 	var mu sync.Mutex // guards m
 	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Candidates)], Log: slog.New(slog.DiscardHandler),
@@ -338,7 +338,7 @@
 					if table, _ := t.(map[string]any); table["limit"] != nil {
 						for _, tenant := range r.own.Tenants {
 							if tenant.Name == table["name"] {
-								table["limit"] = max(1, times*tenant.Limit)
+								table["limit"] = max(1, times*tenant.RateLimit)
 							}
 						}
 					}
--- a/internal/experiment/processes/work.go
+++ b/internal/experiment/processes/work.go
@@ -44,7 +44,7 @@
 // workTables fills in what differs between instances, of a file that has work on.
 func (r *run) workTables(in *instance, doc map[string]any) error {
 	table, _ := doc["work"].(map[string]any)
-	if table == nil || !r.own.Work.On {
+	if table == nil || !r.own.Maintenance.On {
 		return nil
 	}
 	if in.calls == "" {
@@ -54,7 +54,7 @@
 		}
 	}
 	doc["operators"] = map[string]any{"address": in.calls}
-	if in.n < len(simulation.Lenders(r.own.Peers.Lenders, len(r.plan.Instances))) {
+	if in.n < len(simulation.Lenders(r.own.Peers.Allocators, len(r.plan.Instances))) {
 		table["state"] = filepath.Join(r.dir, fmt.Sprint("order-", in.n))
 	}
 	return nil
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -169,8 +169,8 @@
 
 // settings returns what the model takes of a daemon's file.
 func settings(c *config.Config) *simulation.Settings {
-	s := &simulation.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.Endpoints, Clients: c.RestLimits(), Client: fairqueue.ClientSpec{Weight: 1},
-		Subset: c.Fleet.Part(), Overload: c.Overload.Decides(c.Fleet.Instances), Together: c.Together(0)}
+	s := &simulation.Settings{Site: c.Site, Sharing: c.Sharing(), Connections: c.Connections.MaxEndpoints, Clients: c.RestLimits(), Client: fairqueue.ClientSpec{Weight: 1},
+		Subset: c.Fleet.SubsetSettings(), Overload: c.Overload.Settings(c.Fleet.Instances), Together: c.Coordination(0)}
 	if len(c.Clients) > 0 {
 		s.Client = c.Clients[0].Share(c.Clients[0].Name)
 	}
@@ -185,7 +185,7 @@
 	s := &c.Site.Settings
 	limits := map[string]float64{}
 	for _, t := range c.Tenants {
-		limits[t.Name] = t.Limit
+		limits[t.Name] = t.RateLimit
 	}
 	return measure.Judge{Classes: s.Classes, Tenants: s.Tenants, Limits: limits, OverShareWorth: s.OverQuotaWeight, Goal: s.Goal, Prices: s.Prices}
 }
--- a/internal/xdsclient/client.go
+++ b/internal/xdsclient/client.go
@@ -21,7 +21,7 @@
 
 // Options configure a Client.
 type Options struct {
-	Settings     config.Control
+	Settings     config.ControlPlane
 	InstanceName string      // the node ID where Settings.Node is empty
 	Zone         string      // of the node's locality; "" is none
 	Applied      *rollout.ID // version of the control plane that is running, nil for none
@@ -100,7 +100,7 @@
 		return
 	}
 	defer conn.Close()
-	maxBackoff := settings.RetryMost.Duration
+	maxBackoff := settings.MaxBackoff.Duration
 	for wait := minBackoff; ctx.Err() == nil; {
 		// Full jitter: instances that lost the control plane at the same time do not reconnect at the same time.
 		select {
@@ -127,7 +127,7 @@
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithNoProxy(),
 		grpc.WithDefaultCallOptions(
-			grpc.MaxCallRecvMsgSize(int(settings.SizeMost.Bytes)),
+			grpc.MaxCallRecvMsgSize(int(settings.MaxResponseSize.Bytes)),
 			grpc.WaitForReady(true),
 		),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
@@ -137,7 +137,7 @@
 				BaseDelay:  minBackoff,
 				Multiplier: backoffMultiplier,
 				Jitter:     dialJitter,
-				MaxDelay:   settings.RetryMost.Duration,
+				MaxDelay:   settings.MaxBackoff.Duration,
 			},
 		}),
 	)
--- a/internal/xdsclient/client_test.go
+++ b/internal/xdsclient/client_test.go
@@ -48,16 +48,16 @@
 	return append([]xdsclient.Update(nil), f.received...)
 }
 
-func settings(addr string) config.Control {
-	return config.Control{
-		Address:   addr,
-		Plaintext: true,
-		SizeMost:  stricttoml.Size{Bytes: 1 << 20},
-		RetryMost: stricttoml.Duration{Duration: 100 * time.Millisecond},
+func settings(addr string) config.ControlPlane {
+	return config.ControlPlane{
+		Address:         addr,
+		Plaintext:       true,
+		MaxResponseSize: stricttoml.Size{Bytes: 1 << 20},
+		MaxBackoff:      stricttoml.Duration{Duration: 100 * time.Millisecond},
 	}
 }
 
-func startClient(t *testing.T, c config.Control, running *rollout.ID) *testClient {
+func startClient(t *testing.T, c config.ControlPlane, running *rollout.ID) *testClient {
 	t.Helper()
 	f := &testClient{}
 	client, err := xdsclient.New(xdsclient.Options{
@@ -432,7 +432,7 @@
 	if err := s.SetResources("1", []config.Resource{class("look", 1)}, nil); err != nil {
 		t.Fatal(err)
 	}
-	with := func(ca, own *authority, name string) config.Control {
+	with := func(ca, own *authority, name string) config.ControlPlane {
 		c := settings(s.Address)
 		c.Plaintext, c.ServerName = false, name
 		c.CA = filepath.Join(ca.dir, "ca.pem")
@@ -440,7 +440,7 @@
 		return c
 	}
 	good := startClient(t, with(ours, ours, ""), nil)
-	for what, c := range map[string]config.Control{
+	for what, c := range map[string]config.ControlPlane{
 		"an authority that is not the service's": with(theirs, ours, ""),
 		"a certificate of another authority":     with(ours, theirs, ""),
 		"another name":                           with(ours, ours, "somebody"),
--- a/internal/xdsclient/credentials.go
+++ b/internal/xdsclient/credentials.go
@@ -14,7 +14,7 @@
 )
 
 // transportCredentials returns mutual TLS, or plaintext, which the configuration allows on loopback only.
-func transportCredentials(settings *config.Control) (credentials.TransportCredentials, error) {
+func transportCredentials(settings *config.ControlPlane) (credentials.TransportCredentials, error) {
 	if settings.Plaintext {
 		return insecure.NewCredentials(), nil
 	}
