--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -37,113 +37,113 @@
 )
 
 // plainRoutes returns what becomes of the requests of each class.
-func (f *Server) newClassRoutes() []Route {
+func (s *Server) newClassRoutes() []Route {
 	rules := &upstream.Rules{Hold: classBodyBuffer, Patient: true, Idle: classIdleTimeout, Deadline: "X-Expires-In-Ms", Own: true}
 	for code := range rules.Failure {
 		rules.Failure[code] = code != http.StatusOK
 	}
-	routes := make([]Route, len(f.options.Site.Classes))
-	for i, name := range f.options.Site.Classes {
-		routes[i] = Route{Name: name, Pool: f.options.Pool, SafeClass: uint8(i), UnsafeClass: uint8(i), SafeRules: rules, UnsafeRules: rules, BufferBytes: classBodyBuffer, MaxBodyBytes: maxClassBody,
+	routes := make([]Route, len(s.options.Site.Classes))
+	for i, name := range s.options.Site.Classes {
+		routes[i] = Route{Name: name, Pool: s.options.Pool, SafeClass: uint8(i), UnsafeClass: uint8(i), SafeRules: rules, UnsafeRules: rules, BufferBytes: classBodyBuffer, MaxBodyBytes: maxClassBody,
 			StreamTimeout: classStreamTimeout, IdempotencyKey: ValueSource{Kind: FromHeader, Name: "Idempotency-Key"}, Object: ValueSource{Kind: FromHeader, Name: "X-Object"}}
 	}
 	return routes
 }
 
 // plain serves a request by PROTOCOL, and says whether the connection may serve another.
-func (f *Server) serveByClass(c *conn, q *http.Request) bool {
-	w := &exchange{server: f, conn: c, request: q, proxyName: "dunlinsail", closeAfter: q.Close || !q.ProtoAtLeast(1, 1), byClass: true}
-	k, rt, out, framing, err := f.parseClassRequest(c, q)
+func (s *Server) serveByClass(c *conn, req *http.Request) bool {
+	x := &exchange{server: s, conn: c, request: req, proxyName: "dunlinsail", closeAfter: req.Close || !req.ProtoAtLeast(1, 1), byClass: true}
+	call, rt, out, framing, err := s.parseClassRequest(c, req)
 	if err == nil {
-		err = w.bufferBody(rt, out, framing)
+		err = x.bufferBody(rt, out, framing)
 	}
 	if err != nil {
 		c.reject(rejectionResponse(err))
 		if rt != nil {
-			f.outcomes.record(rt.SafeClass, rejectionResponse(err).status)
+			s.outcomes.record(rt.SafeClass, rejectionResponse(err).status)
 		}
 		return false
 	}
-	return w.forward(rt, k, out, framing, "")
+	return x.forward(rt, call, out, framing, "")
 }
 
 // parse says what a request is, or what is wrong with it; rt is nil where not even its class is known.
-func (f *Server) parseClassRequest(conn *conn, r *http.Request) (k *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
-	wrong := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, http1msg.Framing, error) {
+func (s *Server) parseClassRequest(conn *conn, req *http.Request) (call *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
+	reject := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, http1msg.Framing, error) {
 		return nil, rt, nil, framing, requestErrorf(code, format, args...)
 	}
-	if framing, err = http1msg.RequestFraming(r.Header); err != nil {
+	if framing, err = http1msg.RequestFraming(req.Header); err != nil {
 		return nil, nil, nil, framing, err
 	}
-	uri, host := r.RequestURI, r.Host
+	uri, host := req.RequestURI, req.Host
 	if !strings.HasPrefix(uri, "/") { // the absolute form; message.CheckHead has seen that Host names the same
-		if r.URL.Host == "" || r.URL.User != nil || r.URL.Scheme != "http" {
-			return wrong(http.StatusBadRequest, "the target must be a path")
+		if req.URL.Host == "" || req.URL.User != nil || req.URL.Scheme != "http" {
+			return reject(http.StatusBadRequest, "the target must be a path")
 		}
-		uri = r.URL.RequestURI()
+		uri = req.URL.RequestURI()
 	}
-	if !isVisibleASCII(host) && r.ProtoAtLeast(1, 1) {
-		return wrong(http.StatusBadRequest, "Host makes no sense")
+	if !isVisibleASCII(host) && req.ProtoAtLeast(1, 1) {
+		return reject(http.StatusBadRequest, "Host makes no sense")
 	}
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "Idempotency-Key"} {
-		if v := r.Header[name]; len(v) > 0 && !isVisibleASCII(v[0]) { // that it stands once, message.CheckHead has seen
-			return wrong(http.StatusBadRequest, "%s makes no sense", name)
+		if v := req.Header[name]; len(v) > 0 && !isVisibleASCII(v[0]) { // that it stands once, message.CheckHead has seen
+			return reject(http.StatusBadRequest, "%s makes no sense", name)
 		}
 	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	name := r.Header.Get("X-Qos")
+	pathClass, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	name := req.Header.Get("X-Qos")
 	if name == "" {
-		name = first
+		name = pathClass
 	}
-	class := slices.Index(f.options.Site.Classes, name)
+	class := slices.Index(s.options.Site.Classes, name)
 	if class < 0 {
-		return wrong(http.StatusNotFound, "unknown class %q", name)
+		return reject(http.StatusNotFound, "unknown class %q", name)
 	}
-	rt = &f.classRoutes[class]
-	if name != first {
-		return wrong(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
+	rt = &s.classRoutes[class]
+	if name != pathClass {
+		return reject(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
 	}
-	id := r.Header.Get("X-Trace-Id")
+	id := req.Header.Get("X-Trace-Id")
 	if id == "" {
-		return wrong(http.StatusBadRequest, "X-Trace-Id is missing")
+		return reject(http.StatusBadRequest, "X-Trace-Id is missing")
 	}
-	settings := &f.options.Site.Settings.Classes[class]
+	settings := &s.options.Site.Settings.Classes[class]
 	method := http.MethodPost
 	if settings.Idempotency == balancer.Idempotent {
 		method = http.MethodGet
 	}
-	if r.Method != method && !(r.Method == http.MethodHead && method == http.MethodGet) {
-		return wrong(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
+	if req.Method != method && !(req.Method == http.MethodHead && method == http.MethodGet) {
+		return reject(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
 	}
 	if method == http.MethodGet && framing.Kind != http1msg.NoBody && !(framing.Kind == http1msg.FixedLength && framing.Length == 0) {
-		return wrong(http.StatusBadRequest, "class %q takes no body", name)
+		return reject(http.StatusBadRequest, "class %q takes no body", name)
 	}
-	if settings.Idempotency == balancer.IdempotentByKey && r.Header.Get("Idempotency-Key") == "" {
-		return wrong(http.StatusBadRequest, "Idempotency-Key is missing") // a repeat would not be known as one
+	if settings.Idempotency == balancer.IdempotentByKey && req.Header.Get("Idempotency-Key") == "" {
+		return reject(http.StatusBadRequest, "Idempotency-Key is missing") // a repeat would not be known as one
 	}
-	left := settings.ClientTimeout
-	if text := r.Header.Get("X-Expires-In-Ms"); text != "" {
+	timeout := settings.ClientTimeout
+	if text := req.Header.Get("X-Expires-In-Ms"); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 63)
 		if err != nil {
-			return wrong(http.StatusBadRequest, "X-Expires-In-Ms is not a whole number of milliseconds")
+			return reject(http.StatusBadRequest, "X-Expires-In-Ms is not a whole number of milliseconds")
 		}
-		left = min(left, int64(min(ms, math.MaxInt32))*1000)
-	}
-	k = &core.Call{Client: conn.client.engineClient, Pool: f.options.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
-		Tenant: f.tenantIndex(r.Header.Get("X-Customer")), IdempotencyKey: objectKey(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1",
-		Deadline: left - siteconfig.ResponseMargin.Microseconds()}}
-	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		k.Request.WorkHint, k.Request.HasWorkHint = hint, true
-	}
-	out = &upstream.Request{Method: r.Method, URI: uri, Host: host, Header: make(http.Header, len(r.Header)), Rules: rt.SafeRules}
-	connection := r.Header["Connection"]
-	for k, v := range r.Header {
-		if !http1msg.IsHopByHop(k, connection) && k != "Expect" && k != "Host" && k != "X-Never-Ran" && k != "X-Expires-In-Ms" {
-			out.Header[k] = v
+		timeout = min(timeout, int64(min(ms, math.MaxInt32))*1000)
+	}
+	call = &core.Call{Client: conn.client.engineClient, Pool: s.options.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
+		Tenant: s.tenantIndex(req.Header.Get("X-Customer")), IdempotencyKey: objectKey(req.Header.Get("X-Object")), Retry: req.Header.Get("X-Second-Try") == "1",
+		Deadline: timeout - siteconfig.ResponseMargin.Microseconds()}}
+	if hint, err := strconv.ParseInt(req.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
+		call.Request.WorkHint, call.Request.HasWorkHint = hint, true
+	}
+	out = &upstream.Request{Method: req.Method, URI: uri, Host: host, Header: make(http.Header, len(req.Header)), Rules: rt.SafeRules}
+	connection := req.Header["Connection"]
+	for call, v := range req.Header {
+		if !http1msg.IsHopByHop(call, connection) && call != "Expect" && call != "Host" && call != "X-Never-Ran" && call != "X-Expires-In-Ms" {
+			out.Header[call] = v
 		}
 	}
-	out.Wait = time.Duration(k.Request.Deadline) * time.Microsecond
-	return k, rt, out, framing, nil
+	out.Wait = time.Duration(call.Request.Deadline) * time.Microsecond
+	return call, rt, out, framing, nil
 }
 
 // methods are what a request may begin with that follows another on its connection.
--- a/internal/frontend/http1/client_watch.go
+++ b/internal/frontend/http1/client_watch.go
@@ -110,13 +110,13 @@
 }
 
 // left says, without waiting, whether the other side has ended the connection, whatever has come before that.
-func (in *peekableConn) peerClosed() bool {
-	if in.rawConn == nil {
+func (p *peekableConn) peerClosed() bool {
+	if p.rawConn == nil {
 		return false
 	}
 	closed := false
 	// A connection that is closed already calls nothing, and has not been ended by the other side.
-	_ = in.rawConn.Control(func(fd uintptr) {
+	_ = p.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/frontend/http1/conns.go
+++ b/internal/frontend/http1/conns.go
@@ -71,13 +71,13 @@
 }
 
 func newConnManager(limits connlimit.Limits, clk clock.Clock, serve func(*conn), log *slog.Logger) (*connManager, error) {
-	k := &connManager{clock: clk, serve: serve, log: log}
+	m := &connManager{clock: clk, serve: serve, log: log}
 	var err error
-	if k.table, err = connlimit.New(limits, k.isEvictable); err != nil {
+	if m.table, err = connlimit.New(limits, m.isEvictable); err != nil {
 		return nil, err
 	}
-	k.expiryTimer = time.AfterFunc(time.Hour, k.closeExpired)
-	return k, nil
+	m.expiryTimer = time.AfterFunc(time.Hour, m.closeExpired)
+	return m, nil
 }
 
 const (
@@ -92,24 +92,24 @@
 type Identify func(net.Conn) (c *Client, gone func(), err error)
 
 // accept serves connections until ln is closed or its deadline passes.
-func (k *connManager) accept(ln net.Listener, identify Identify) error {
+func (m *connManager) accept(ln net.Listener, identify Identify) error {
 	backoff := minAcceptBackoff
 	for {
-		nc, err := ln.Accept()
+		netConn, err := ln.Accept()
 		switch {
 		case err == nil:
 			backoff = minAcceptBackoff
-			k.add(nc, identify)
+			m.add(netConn, identify)
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			// No descriptor is left, perhaps: one that is not needed makes room.
 			if backoff == minAcceptBackoff {
-				k.log.Warn("accept", "error", err)
+				m.log.Warn("accept", "error", err)
 			}
-			k.mu.Lock()
-			k.closeLocked(k.table.Evictable())
-			k.mu.Unlock()
+			m.mu.Lock()
+			m.closeLocked(m.table.Evictable())
+			m.mu.Unlock()
 			time.Sleep(backoff)
 			backoff = min(2*backoff, maxAcceptBackoff)
 		}
@@ -118,22 +118,22 @@
 
 // acceptRest serves the connections that wait in ln's queue, and returns once there is none: closing ln would reset them, with
 // what their clients have sent. Nobody else may accept meanwhile. Clients who come without end do not keep it going.
-func (k *connManager) acceptQueued(ln net.Listener, identify Identify) {
+func (m *connManager) acceptQueued(ln net.Listener, identify Identify) {
 	bounded, ok := ln.(interface{ SetDeadline(time.Time) error })
 	if !ok {
 		return
 	}
 	for end := time.Now().Add(maxQueueDrainTime); time.Now().Before(end); {
 		_ = bounded.SetDeadline(time.Now().Add(queuePollTimeout)) // what waits is taken without waiting
-		nc, err := ln.Accept()
+		netConn, err := ln.Accept()
 		switch {
 		case err == nil:
-			k.add(nc, identify)
+			m.add(netConn, identify)
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !hasQueued(ln):
 			return // else we did not come to it within the deadline
 		}
 	}
-	k.log.Warn("clients still connect as the listener closes: who waits there now is reset")
+	m.log.Warn("clients still connect as the listener closes: who waits there now is reset")
 }
 
 // queued says whether a connection waits to be accepted.
@@ -154,145 +154,145 @@
 }
 
 // add takes a connection in, if it may be.
-func (k *connManager) add(nc net.Conn, identify Identify) {
-	client, gone, err := identify(nc)
+func (m *connManager) add(netConn net.Conn, identify Identify) {
+	client, onClose, err := identify(netConn)
 	if err != nil {
-		k.log.Warn("connection turned away", "from", nc.RemoteAddr().String(), "error", err)
-		nc.Close()
+		m.log.Warn("connection turned away", "from", netConn.RemoteAddr().String(), "error", err)
+		netConn.Close()
 		return
 	}
-	if gone == nil {
-		gone = func() {}
+	if onClose == nil {
+		onClose = func() {}
 	}
-	c := &conn{Conn: nc, client: client, input: newPeekableConn(nc)}
+	c := &conn{Conn: netConn, client: client, input: newPeekableConn(netConn)}
 	c.readLimit.R = c.input
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	place, spare := k.table.Add(k.clock.Now(), client.connOwner, c)
-	k.closeLocked(spare)
-	if place == nil {
-		nc.Close() // all others are waiting for their answers
-		gone()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry, evicted := m.table.Add(m.clock.Now(), client.connOwner, c)
+	m.closeLocked(evicted)
+	if entry == nil {
+		netConn.Close() // all others are waiting for their answers
+		onClose()
 		return
 	}
-	c.entry = place
-	k.closeExpiredLocked()
-	k.serving++
+	c.entry = entry
+	m.closeExpiredLocked()
+	m.serving++
 	go func() {
-		k.serve(c)
+		m.serve(c)
 		c.releaseBuffer()
-		gone()
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.closeLocked(c.entry)
-		if k.serving--; k.serving == 0 {
-			for _, ch := range k.drained {
+		onClose()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.closeLocked(c.entry)
+		if m.serving--; m.serving == 0 {
+			for _, ch := range m.drained {
 				close(ch)
 			}
-			k.drained = nil
+			m.drained = nil
 		}
 	}()
 }
 
 // wait waits until no connection is served, or ctx ends.
-func (k *connManager) waitDrained(ctx context.Context) error {
-	k.mu.Lock()
-	ch := make(chan struct{})
-	if k.serving == 0 {
-		close(ch)
+func (m *connManager) waitDrained(ctx context.Context) error {
+	m.mu.Lock()
+	drained := make(chan struct{})
+	if m.serving == 0 {
+		close(drained)
 	} else {
-		k.drained = append(k.drained, ch)
+		m.drained = append(m.drained, drained)
 	}
-	k.mu.Unlock()
+	m.mu.Unlock()
 	select {
-	case <-ch:
+	case <-drained:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (k *connManager) closeLocked(place *connlimit.Conn[*conn]) {
-	if place != nil {
-		k.table.Remove(place)
-		place.Value.Close()
+func (m *connManager) closeLocked(entry *connlimit.Conn[*conn]) {
+	if entry != nil {
+		m.table.Remove(entry)
+		entry.Value.Close()
 	}
 }
 
 // expire closes what has rested for too long.
-func (k *connManager) closeExpired() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.closeExpiredLocked()
+func (m *connManager) closeExpired() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closeExpiredLocked()
 }
 
-func (k *connManager) closeExpiredLocked() {
-	now := k.clock.Now()
+func (m *connManager) closeExpiredLocked() {
+	now := m.clock.Now()
 	for {
-		c, next := k.table.RemoveExpired(now)
+		c, next := m.table.RemoveExpired(now)
 		if c == nil {
 			if next > 0 {
-				k.expiryTimer.Reset(clock.Duration(next - now))
+				m.expiryTimer.Reset(clock.Duration(next - now))
 			}
 			return
 		}
-		k.closeLocked(c)
+		m.closeLocked(c)
 	}
 }
 
 // take notes that a connection has an open request, unless it has been closed meanwhile.
-func (k *connManager) markBusy(c *conn) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (m *connManager) markBusy(c *conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	c.requestStarted = false
-	return k.table.MarkBusy(c.entry)
+	return m.table.MarkBusy(c.entry)
 }
 
 // hold notes that n bytes more are held for a connection, if its client may hold them; if they must be held, it
 // may not say no.
-func (k *connManager) reserveBytes(c *conn, n int64, force bool) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.ReserveBytes(c.entry, n, force)
+func (m *connManager) reserveBytes(c *conn, n int64, force bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.ReserveBytes(c.entry, n, force)
 }
 
 // rest notes that a request has its answer, and says whether the connection may stay open. While all are to close it may for
 // a next request that has come, or begun to.
-func (k *connManager) finishRequest(c *conn) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (m *connManager) finishRequest(c *conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0)
-	k.closeLocked(k.table.MarkIdle(k.clock.Now(), c.entry))
-	k.closeExpiredLocked()
-	return !k.closing || !c.input.isDrained()
+	m.closeLocked(m.table.MarkIdle(m.clock.Now(), c.entry))
+	m.closeExpiredLocked()
+	return !m.closing || !c.input.isDrained()
 }
 
 // cut closes all connections, those with open requests too.
-func (k *connManager) closeAll() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.closing = true
-	k.table.Each(func(c *connlimit.Conn[*conn]) { c.Value.Close() })
+func (m *connManager) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closing = true
+	m.table.Each(func(c *connlimit.Conn[*conn]) { c.Value.Close() })
 }
 
 // hush closes the connections without an open request; those with one, or of which a part has come, close once they have their
 // answers.
-func (k *connManager) quiesce() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.closing = true
-	for c := k.table.Evictable(); c != nil; c = k.table.Evictable() {
-		k.closeLocked(c)
+func (m *connManager) quiesce() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closing = true
+	for c := m.table.Evictable(); c != nil; c = m.table.Evictable() {
+		m.closeLocked(c)
 	}
 }
 
 // hushHalves closes the connections of whose request a part has come, and returns how many: it is not waited for any longer.
-func (k *connManager) closePartialRequests() (n int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.table.Each(func(p *connlimit.Conn[*conn]) {
+func (m *connManager) closePartialRequests() (n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Each(func(p *connlimit.Conn[*conn]) {
 		if c := p.Value; c.requestStarted && c.input.isDrained() {
-			k.closeLocked(p)
+			m.closeLocked(p)
 			n++
 		}
 	})
@@ -302,8 +302,8 @@
 // rests says whether a connection can be closed without taking a request with it: nothing has come on it that has not been looked
 // at. One of whose request a part has come may have to make room for others, whose requests may be whole; but where all are to
 // close it does not for that alone: its client, who did not see it rest, would not send the request again.
-func (k *connManager) isEvictable(c *conn) bool {
-	return c.input.isDrained() && !(k.closing && c.requestStarted)
+func (m *connManager) isEvictable(c *conn) bool {
+	return c.input.isDrained() && !(m.closing && c.requestStarted)
 }
 
 // ---- Handing connections over -----------------------------------------------
@@ -313,19 +313,19 @@
 
 // release hands connections over as soon as they rest, from now on: to is called for each, and says whether it
 // has been taken; our own end of it is closed then. What is not taken goes on here. nil ends that.
-func (k *connManager) setHandoff(handoff func(net.Conn) bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.setHandoffLocked(handoff)
+func (m *connManager) setHandoff(handoff func(net.Conn) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setHandoffLocked(handoff)
 }
 
-func (k *connManager) setHandoffLocked(handoff func(net.Conn) bool) {
-	k.handoff = handoff
+func (m *connManager) setHandoffLocked(handoff func(net.Conn) bool) {
+	m.handoff = handoff
 	if handoff == nil {
 		return
 	}
-	k.handoffs++
-	k.table.EachIdle(func(p *connlimit.Conn[*conn]) {
+	m.handoffs++
+	m.table.EachIdle(func(p *connlimit.Conn[*conn]) {
 		if c := p.Value; c.awaitingRequest {
 			c.interrupted = true
 			c.SetReadDeadline(expiredDeadline)
@@ -335,29 +335,29 @@
 
 // park waits for the first byte of a request until a deadline, zero for as long as the connection may rest, and
 // says whether it has come. A connection that is handed over meanwhile is not used here any more.
-func (k *connManager) awaitRequest(c *conn, deadline time.Time) bool {
+func (m *connManager) awaitRequest(c *conn, deadline time.Time) bool {
 	c.releaseBuffer()
 	if c.buffer != nil {
-		k.mu.Lock()
+		m.mu.Lock()
 		c.requestStarted = true
-		k.mu.Unlock()
+		m.mu.Unlock()
 		return true // it has come already
 	}
 	for {
-		if handoff := k.startAwait(c, deadline); handoff != nil {
+		if handoff := m.startAwait(c, deadline); handoff != nil {
 			if handoff(c.Conn) {
 				return false
 			}
 			continue
 		}
 		err := c.waitReadable()
-		k.mu.Lock()
+		m.mu.Lock()
 		// Whoever called may have been told meanwhile that nothing is to be handed over after all.
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		again := c.interrupted && timedOut
 		arrived := err == nil || timedOut && !c.input.isDrained() // it has come as its time was up
 		c.awaitingRequest, c.interrupted, c.requestStarted = false, false, arrived && !again
-		k.mu.Unlock()
+		m.mu.Unlock()
 		if !again {
 			return arrived
 		}
@@ -365,13 +365,13 @@
 }
 
 // parking notes that a connection waits, or returns what it is to be handed to first.
-func (k *connManager) startAwait(c *conn, deadline time.Time) (handoff func(net.Conn) bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.handoff != nil && c.lastHandoff != k.handoffs {
-		c.lastHandoff = k.handoffs
+func (m *connManager) startAwait(c *conn, deadline time.Time) (handoff func(net.Conn) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.handoff != nil && c.lastHandoff != m.handoffs {
+		c.lastHandoff = m.handoffs
 		c.SetReadDeadline(time.Time{})
-		return k.handoff
+		return m.handoff
 	}
 	c.awaitingRequest = true
 	c.SetReadDeadline(deadline)
@@ -425,16 +425,16 @@
 
 // turnAway answers what is not taken, and ends the connection's use. What the client may still be sending is
 // read for a little, since closing on unread bytes would take the answer away from it again.
-func (c *conn) reject(r *localResponse) {
-	c.writeResponse(r, true)
+func (c *conn) reject(response *localResponse) {
+	c.writeResponse(response, true)
 	c.linger()
 }
 
 // linger ends the use of a connection on which something may still be coming: closing on unread bytes would take the answer
 // away from the client.
 func (c *conn) linger() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite() // it may be closed already
+	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = halfCloser.CloseWrite() // it may be closed already
 	}
 	c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // until its end, or the deadline
@@ -460,18 +460,18 @@
 }
 
 // write writes a whole answer in one piece, and says whether that went well.
-func (c *conn) writeResponse(r *localResponse, closeAfter bool) bool {
-	var b bytes.Buffer
-	b.Grow(256 + len(r.body))
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.status) + " " + http.StatusText(r.status) + "\r\n")
-	_ = r.header.Write(&b) // writing to memory does not fail
-	b.WriteString("Content-Length: " + strconv.Itoa(len(r.body)) + "\r\n")
+func (c *conn) writeResponse(response *localResponse, closeAfter bool) bool {
+	var buf bytes.Buffer
+	buf.Grow(256 + len(response.body))
+	buf.WriteString("HTTP/1.1 " + strconv.Itoa(response.status) + " " + http.StatusText(response.status) + "\r\n")
+	_ = response.header.Write(&buf) // writing to memory does not fail
+	buf.WriteString("Content-Length: " + strconv.Itoa(len(response.body)) + "\r\n")
 	if closeAfter {
-		b.WriteString("Connection: close\r\n")
+		buf.WriteString("Connection: close\r\n")
 	}
-	b.WriteString("\r\n")
-	b.Write(r.body)
+	buf.WriteString("\r\n")
+	buf.Write(response.body)
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write(b.Bytes())
+	_, err := c.Write(buf.Bytes())
 	return err == nil
 }
--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -33,71 +33,71 @@
 var copyBufferPool = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
 // routed serves a request by the routes, and says whether the connection may serve another.
-func (f *Server) serveByRoute(c *conn, q *http.Request, routes *Routes) bool {
-	w := &exchange{server: f, conn: c, request: q, proxyName: routes.ProxyName, closeAfter: q.Close || !q.ProtoAtLeast(1, 1)}
-	host, path, query, err := routes.splitTarget(q)
-	if q.RequestURI == "*" && q.Method == http.MethodOptions {
-		return f.conns.markBusy(c) && w.writeLocal(newLocalResponse(http.StatusOK, "any"), "") // of the server as a whole: it forwards what it is asked
+func (s *Server) serveByRoute(c *conn, req *http.Request, routes *Routes) bool {
+	x := &exchange{server: s, conn: c, request: req, proxyName: routes.ProxyName, closeAfter: req.Close || !req.ProtoAtLeast(1, 1)}
+	host, path, query, err := routes.splitTarget(req)
+	if req.RequestURI == "*" && req.Method == http.MethodOptions {
+		return s.conns.markBusy(c) && x.writeLocal(newLocalResponse(http.StatusOK, "any"), "") // of the server as a whole: it forwards what it is asked
 	}
-	if q.Method == http.MethodConnect {
+	if req.Method == http.MethodConnect {
 		err = &requestError{status: http.StatusNotImplemented, reason: "no tunnels are made here", proxyError: "http_request_denied"}
 	}
 	var rt *Route
 	if err == nil {
-		rt, err = routes.match(q, host, path)
+		rt, err = routes.match(req, host, path)
 	}
-	var k *core.Call
+	var call *core.Call
 	var out *upstream.Request
 	if err == nil {
-		k, out, err = f.newRoutedCall(c, q, rt, host, path, query)
+		call, out, err = s.newRoutedCall(c, req, rt, host, path, query)
 	}
 	var framing http1msg.Framing
 	if err == nil {
-		framing, err = http1msg.RequestFraming(q.Header)
+		framing, err = http1msg.RequestFraming(req.Header)
 	}
 	if err == nil {
-		err = w.bufferBody(rt, out, framing)
+		err = x.bufferBody(rt, out, framing)
 	}
 	if err != nil {
-		return w.reject(err)
+		return x.reject(err)
 	}
-	return w.forward(rt, k, out, framing, path)
+	return x.forward(rt, call, out, framing, path)
 }
 
 // hold takes in what is held of a request's body, if it may be.
-func (w *exchange) bufferBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
+func (x *exchange) bufferBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
 	switch {
 	case framing.Kind == http1msg.FixedLength && rt.MaxBodyBytes > 0 && framing.Length > rt.MaxBodyBytes:
 		return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
-	case !w.server.conns.reserveBytes(w.conn, rt.reservedBytes(framing), false):
+	case !x.server.conns.reserveBytes(x.conn, rt.reservedBytes(framing), false):
 		return &requestError{status: http.StatusServiceUnavailable, retryAfter: byteLimitRetryAfter, proxyError: "connection_limit_reached",
 			reason: "refused: too many bytes of this client's requests are held"}
 	}
-	if err := w.readBody(rt, out, framing); err != nil {
+	if err := x.readBody(rt, out, framing); err != nil {
 		return err
 	}
-	if b, _ := w.conn.buffer.Peek(w.conn.buffer.Buffered()); w.byClass && out.Stream == nil && !mayStartRequest(b) {
+	if pipelined, _ := x.conn.buffer.Peek(x.conn.buffer.Buffered()); x.byClass && out.Stream == nil && !mayStartRequest(pipelined) {
 		return requestErrorf(http.StatusBadRequest, surplusBytes)
 	}
 	return nil
 }
 
 // serve serves a request that is taken, and says whether the connection may serve another.
-func (w *exchange) forward(rt *Route, k *core.Call, out *upstream.Request, framing http1msg.Framing, path string) bool {
-	f, c, q := w.server, w.conn, w.request
-	if !f.conns.markBusy(c) {
+func (x *exchange) forward(rt *Route, call *core.Call, out *upstream.Request, framing http1msg.Framing, path string) bool {
+	server, c, req := x.server, x.conn, x.request
+	if !server.conns.markBusy(c) {
 		return false
 	}
-	w.responseEdits, w.idleTimeout = &rt.ResponseEdits, rt.UnsafeRules.Idle
-	k.Attempt = f.attemptFunc(out)
-	k.ArrivedAt = f.options.Clock.Now()
-	k.Request.Deadline += k.ArrivedAt
-	if s := out.Stream; s != nil {
-		k.NotReplayable, k.Request.Upload = s.Taken, true
-		k.Request.Deadline = k.ArrivedAt + rt.StreamTimeout.Microseconds()
+	x.responseEdits, x.idleTimeout = &rt.ResponseEdits, rt.UnsafeRules.Idle
+	call.Attempt = server.attemptFunc(out)
+	call.ArrivedAt = server.options.Clock.Now()
+	call.Request.Deadline += call.ArrivedAt
+	if stream := out.Stream; stream != nil {
+		call.NotReplayable, call.Request.Upload = stream.Taken, true
+		call.Request.Deadline = call.ArrivedAt + rt.StreamTimeout.Microseconds()
 	}
-	if by := f.responseDeadline.Load(); by > 0 {
-		k.Request.Deadline = min(k.Request.Deadline, by)
+	if deadline := server.responseDeadline.Load(); deadline > 0 {
+		call.Request.Deadline = min(call.Request.Deadline, deadline)
 	}
 	requestBytes := int64(len(out.Body))
 	if framing.Kind == http1msg.FixedLength {
@@ -105,18 +105,18 @@
 	} else if out.Stream != nil {
 		requestBytes = -1
 	}
-	w.record = f.newExchangeRecord(c, k, rt.Name, rt.IdempotencyKey.value(c, q, path), rt.Object.value(c, q, path), requestBytes)
-	return w.submit(k, out)
+	x.record = server.newExchangeRecord(c, call, rt.Name, rt.IdempotencyKey.value(c, req, path), rt.Object.value(c, req, path), requestBytes)
+	return x.submit(call, out)
 }
 
 // held is how many bytes of a request's body are held at most.
-func (rt *Route) reservedBytes(f http1msg.Framing) int64 {
+func (rt *Route) reservedBytes(framing http1msg.Framing) int64 {
 	switch {
-	case f.Kind == http1msg.NoBody:
+	case framing.Kind == http1msg.NoBody:
 		return 0
-	case f.Kind == http1msg.FixedLength && f.Length <= rt.BufferBytes:
-		return f.Length
-	case f.Kind == http1msg.FixedLength:
+	case framing.Kind == http1msg.FixedLength && framing.Length <= rt.BufferBytes:
+		return framing.Length
+	case framing.Kind == http1msg.FixedLength:
 		return 0
 	}
 	return rt.BufferBytes
@@ -142,16 +142,16 @@
 
 // body reads what is held of the body, and prepares what is not to be passed on as it comes. A 100 (Continue) is sent
 // as soon as the request has been routed and its client is within its bounds, and no endpoint is asked for it.
-func (w *exchange) readBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
-	c := w.conn
-	if expect := w.request.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
-		if framing.Kind != http1msg.NoBody && w.request.ProtoAtLeast(1, 1) {
+func (x *exchange) readBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
+	c := x.conn
+	if expect := x.request.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
+		if framing.Kind != http1msg.NoBody && x.request.ProtoAtLeast(1, 1) {
 			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
 		}
 	} else if expect != "" {
 		return requestErrorf(http.StatusExpectationFailed, "Expect makes no sense")
 	}
-	out.Sized = w.request.Header.Get("Content-Length") != ""
+	out.Sized = x.request.Header.Get("Content-Length") != ""
 	if framing.Kind == http1msg.NoBody {
 		return nil
 	}
@@ -164,7 +164,7 @@
 	if length < 0 || length <= rt.BufferBytes {
 		deadline := time.Now().Add(RequestTimeout)
 		switch {
-		case w.byClass: // an endpoint begins with the last byte: going on with a part gains nothing
+		case x.byClass: // an endpoint begins with the last byte: going on with a part gains nothing
 			deadline = deadline.Add(time.Duration(rt.reservedBytes(framing)) * time.Second / minBodyBytesPerSecond)
 		case length < 0:
 			deadline = time.Now().Add(bodyBufferTimeout)
@@ -188,13 +188,13 @@
 			return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
 		}
 	}
-	idle, deadline := rt.UnsafeRules.Idle, time.Now().Add(rt.StreamTimeout)
+	idleTimeout, deadline := rt.UnsafeRules.Idle, time.Now().Add(rt.StreamTimeout)
 	out.Stream = upstream.NewStream(body, length, func() {
-		at := time.Now().Add(idle)
-		if deadline.Before(at) {
-			at = deadline
+		readDeadline := time.Now().Add(idleTimeout)
+		if deadline.Before(readDeadline) {
+			readDeadline = deadline
 		}
-		c.SetReadDeadline(at)
+		c.SetReadDeadline(readDeadline)
 	}, func() { c.SetReadDeadline(expiredDeadline) })
 	out.Stream.Most = maxBytes
 	return nil
@@ -248,85 +248,85 @@
 }
 
 // submit hands the request in, waits for its answer and gives it.
-func (w *exchange) submit(k *core.Call, out *upstream.Request) bool {
-	c, stream := w.conn, out.Stream
-	w.stream = stream
-	client := c.newClientWatch(stream == nil)
-	if client.clientGone() { // while it waited to be read: nothing of it is to go anywhere
-		w.server.finishExchange(w.record, k.Request.Class, nil, 0, 0)
+func (x *exchange) submit(call *core.Call, out *upstream.Request) bool {
+	c, stream := x.conn, out.Stream
+	x.stream = stream
+	watch := c.newClientWatch(stream == nil)
+	if watch.clientGone() { // while it waited to be read: nothing of it is to go anywhere
+		x.server.finishExchange(x.record, call.Request.Class, nil, 0, 0)
 		return false
 	}
-	client.start()
-	w.server.options.Core.Submit(k)
-	var a engine.Response
+	watch.start()
+	x.server.options.Core.Submit(call)
+	var response engine.Response
 	for waiting := true; waiting; {
 		select {
-		case a = <-k.Response:
+		case response = <-call.Response:
 			waiting = false
-		case <-client.inputArrived:
+		case <-watch.inputArrived:
 			// The client has sent the beginning of its next request, as it may (RFC 9112 section 9.3.2).
-			if w.byClass && !mayStartRequest(client.pipelined) {
-				w.abandon(k, client)
+			if x.byClass && !mayStartRequest(watch.pipelined) {
+				x.abandon(call, watch)
 				c.reject(newLocalResponse(http.StatusBadRequest, surplusBytes))
 				return false
 			}
-		case <-client.gone:
-			w.abandon(k, client)
+		case <-watch.gone:
+			x.abandon(call, watch)
 			if stream != nil && !stream.Take() {
 				<-stream.Over() // the attempt reads the client until it ends
 			}
 			return false
 		}
 	}
-	client.stop()
+	watch.stop()
 	// From here on no attempt may begin to read the client: one that was told to go may be about to.
 	attempted := stream != nil && !stream.Take()
 	if stream != nil && !attempted {
-		w.stream, w.closeAfter = nil, true // the rest of the body is in the way
+		x.stream, x.closeAfter = nil, true // the rest of the body is in the way
 	}
-	keep := w.respond(a)
-	w.server.finishExchange(w.record, k.Request.Class, &a, w.status, w.bodyLength)
+	keep := x.respond(response)
+	x.server.finishExchange(x.record, call.Request.Class, &response, x.status, x.bodyLength)
 	if attempted {
 		<-stream.Over() // the attempt reads the client until it ends
 		keep = keep && stream.Body.Done()
 	}
 	if stream != nil && !keep {
-		w.conn.linger()
+		x.conn.linger()
 	}
 	return keep
 }
 
 // leave tells that the client has gone, or is to go.
-func (w *exchange) abandon(k *core.Call, client *clientWatch) {
-	w.server.finishExchange(w.record, k.Request.Class, nil, 0, 0)
-	w.server.options.Core.ClientGone(k)
-	client.stop()
+func (x *exchange) abandon(call *core.Call, watch *clientWatch) {
+	x.server.finishExchange(x.record, call.Request.Class, nil, 0, 0)
+	x.server.options.Core.ClientGone(call)
+	watch.stop()
 }
 
 // answer gives the final answer, and says whether the connection may serve another request.
-func (w *exchange) respond(a engine.Response) bool {
-	if a.Verdict != engine.Served && w.stream != nil {
-		<-w.stream.Over()
-		if err := w.stream.Err(); err != nil { // it is the client's body that has failed
-			w.closeAfter = true
-			return w.writeLocal(rejectionResponse(bodyReadError(err)), "http_request_error")
+func (x *exchange) respond(response engine.Response) bool {
+	if response.Verdict != engine.Served && x.stream != nil {
+		<-x.stream.Over()
+		if err := x.stream.Err(); err != nil { // it is the client's body that has failed
+			x.closeAfter = true
+			return x.writeLocal(rejectionResponse(bodyReadError(err)), "http_request_error")
 		}
 	}
-	if a.Result != nil && a.Result.Response != nil && (a.Verdict == engine.Served || !w.byClass) {
-		return w.forwardResponse(a.Result.Response.(*upstream.Whole))
+	if response.Result != nil && response.Result.Response != nil && (response.Verdict == engine.Served || !x.byClass) {
+		return x.forwardResponse(response.Result.Response.(*upstream.Whole))
 	}
-	switch a.Verdict {
+	switch response.Verdict {
 	case engine.Rejected:
-		return w.writeLocal(newLocalResponse(http.StatusServiceUnavailable, "refused: "+orDefault(a.Reason, "try again later")).setRetryAfter(clock.Duration(a.RetryAfter)),
+		return x.writeLocal(newLocalResponse(http.StatusServiceUnavailable, "refused: "+orDefault(response.Reason, "try again later")).setRetryAfter(clock.Duration(response.RetryAfter)),
 			"destination_unavailable")
 	case engine.RateLimited:
-		return w.writeLocal(newLocalResponse(http.StatusTooManyRequests, "refused: "+a.Reason).setRetryAfter(clock.Duration(a.RetryAfter)), "http_request_denied")
+		return x.writeLocal(newLocalResponse(http.StatusTooManyRequests, "refused: "+response.Reason).setRetryAfter(clock.Duration(response.RetryAfter)), "http_request_denied")
 	case engine.DuplicateID:
-		return w.writeLocal(newLocalResponse(http.StatusConflict, "a request with this id is open"), "http_request_denied")
+		return x.writeLocal(newLocalResponse(http.StatusConflict, "a request with this id is open"), "http_request_denied")
 	case engine.TimedOut:
-		return w.writeLocal(newLocalResponse(http.StatusGatewayTimeout, "no answer in time"), "http_response_timeout")
+		return x.writeLocal(newLocalResponse(http.StatusGatewayTimeout, "no answer in time"), "http_response_timeout")
 	}
-	return w.writeLocal(newLocalResponse(http.StatusBadGateway, "failed"), "http_response_incomplete")
+	return x.writeLocal(newLocalResponse(http.StatusBadGateway, "failed"), "http_response_incomplete")
 }
 
 func orDefault(s, fallback string) string {
@@ -337,114 +337,114 @@
 }
 
 // own gives an answer of this instance's. Proxy-Status (RFC 9209) tells it from an endpoint's, and why it is given.
-func (w *exchange) writeLocal(r *localResponse, proxyError string) bool {
-	w.status = r.status
+func (x *exchange) writeLocal(response *localResponse, proxyError string) bool {
+	x.status = response.status
 	if proxyError != "" {
-		r.header.Set("Proxy-Status", w.proxyName+"; error="+proxyError+"; details="+strconv.Quote(strings.TrimSpace(string(r.body))))
+		response.header.Set("Proxy-Status", x.proxyName+"; error="+proxyError+"; details="+strconv.Quote(strings.TrimSpace(string(response.body))))
 	}
-	w.closeAfter = w.closeAfter || w.server.isLastResponse(w.conn)
-	if w.request.Method == http.MethodHead {
-		return w.conn.writeHeadOnly(r, w.closeAfter) && w.server.conns.finishRequest(w.conn) && !w.closeAfter
+	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
+	if x.request.Method == http.MethodHead {
+		return x.conn.writeHeadOnly(response, x.closeAfter) && x.server.conns.finishRequest(x.conn) && !x.closeAfter
 	}
-	return w.conn.writeResponse(r, w.closeAfter) && w.server.conns.finishRequest(w.conn) && !w.closeAfter
+	return x.conn.writeResponse(response, x.closeAfter) && x.server.conns.finishRequest(x.conn) && !x.closeAfter
 }
 
 // turnAway answers a request that is not taken.
-func (w *exchange) reject(err error) bool {
-	r := rejectionResponse(err)
+func (x *exchange) reject(err error) bool {
+	response := rejectionResponse(err)
 	proxyError := "http_request_error"
-	if bad := (*requestError)(nil); errors.As(err, &bad) && bad.proxyError != "" {
-		proxyError = bad.proxyError
+	if reqErr := (*requestError)(nil); errors.As(err, &reqErr) && reqErr.proxyError != "" {
+		proxyError = reqErr.proxyError
 	}
-	framing, frameErr := http1msg.RequestFraming(w.request.Header)
+	framing, frameErr := http1msg.RequestFraming(x.request.Header)
 	if frameErr == nil && framing.Kind == http1msg.NoBody {
-		return w.server.conns.markBusy(w.conn) && w.writeLocal(r, proxyError) // nothing is in the way of the next
+		return x.server.conns.markBusy(x.conn) && x.writeLocal(response, proxyError) // nothing is in the way of the next
 	}
-	r.header.Set("Proxy-Status", w.proxyName+"; error="+proxyError+"; details="+strconv.Quote(err.Error()))
-	w.conn.reject(r)
+	response.header.Set("Proxy-Status", x.proxyName+"; error="+proxyError+"; details="+strconv.Quote(err.Error()))
+	x.conn.reject(response)
 	return false
 }
 
 // pass gives an endpoint's answer.
-func (w *exchange) forwardResponse(a *upstream.Whole) bool {
-	w.status, w.bodyLength = a.Code, int64(len(a.Held))
-	if a.Rest != nil {
-		w.bodyLength = -1
-	}
-	w.closeAfter = w.closeAfter || w.server.isLastResponse(w.conn)
-	if a.Rest != nil {
-		defer a.Rest.End()
-	}
-	whole := a.Rest == nil
-	if whole {
-		w.server.conns.reserveBytes(w.conn, int64(len(a.Held)), true)
-	}
-	connection := a.Header["Connection"]
-	w.responseEdits.apply(a.Header)
-	old := !w.request.ProtoAtLeast(1, 1)
-	noBody := w.request.Method == http.MethodHead || a.Code == http.StatusNoContent || a.Code == http.StatusNotModified
-	chunked := !noBody && !old && (len(a.Trailer) > 0 || !whole && a.Framing.Kind != http1msg.FixedLength)
-	if !noBody && !chunked && !whole && a.Framing.Kind != http1msg.FixedLength {
-		w.closeAfter = true // only the connection's end can tell where it ends
-	}
-	b := make([]byte, 0, 1024+len(a.Held))
-	for _, i := range a.Interim {
-		if !old {
-			b = appendResponseHead(b, i.Code, i.Header, i.Header["Connection"])
-			b = append(b, "\r\n"...)
+func (x *exchange) forwardResponse(response *upstream.Whole) bool {
+	x.status, x.bodyLength = response.Code, int64(len(response.Held))
+	if response.Rest != nil {
+		x.bodyLength = -1
+	}
+	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
+	if response.Rest != nil {
+		defer response.Rest.End()
+	}
+	complete := response.Rest == nil
+	if complete {
+		x.server.conns.reserveBytes(x.conn, int64(len(response.Held)), true)
+	}
+	connection := response.Header["Connection"]
+	x.responseEdits.apply(response.Header)
+	http10 := !x.request.ProtoAtLeast(1, 1)
+	noBody := x.request.Method == http.MethodHead || response.Code == http.StatusNoContent || response.Code == http.StatusNotModified
+	chunked := !noBody && !http10 && (len(response.Trailer) > 0 || !complete && response.Framing.Kind != http1msg.FixedLength)
+	if !noBody && !chunked && !complete && response.Framing.Kind != http1msg.FixedLength {
+		x.closeAfter = true // only the connection's end can tell where it ends
+	}
+	buf := make([]byte, 0, 1024+len(response.Held))
+	for _, interim := range response.Interim {
+		if !http10 {
+			buf = appendResponseHead(buf, interim.Code, interim.Header, interim.Header["Connection"])
+			buf = append(buf, "\r\n"...)
 		}
 	}
-	b = appendResponseHead(b, a.Code, a.Header, connection)
+	buf = appendResponseHead(buf, response.Code, response.Header, connection)
 	switch {
 	case chunked:
-		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-		if names := a.Header["Trailer"]; len(names) > 0 {
-			b = append(b, "Trailer: "+strings.Join(names, ", ")+"\r\n"...)
+		buf = append(buf, "Transfer-Encoding: chunked\r\n"...)
+		if names := response.Header["Trailer"]; len(names) > 0 {
+			buf = append(buf, "Trailer: "+strings.Join(names, ", ")+"\r\n"...)
 		}
 	case noBody:
-		if n := a.Header["Content-Length"]; len(n) == 1 && a.Code != http.StatusNoContent {
-			b = append(b, "Content-Length: "+n[0]+"\r\n"...) // of what a GET would get
+		if n := response.Header["Content-Length"]; len(n) == 1 && response.Code != http.StatusNoContent {
+			buf = append(buf, "Content-Length: "+n[0]+"\r\n"...) // of what a GET would get
 		}
-	case whole:
-		b = append(b, "Content-Length: "+strconv.Itoa(len(a.Held))+"\r\n"...)
-	case a.Framing.Kind == http1msg.FixedLength:
-		b = append(b, "Content-Length: "+strconv.FormatInt(a.Framing.Length, 10)+"\r\n"...)
+	case complete:
+		buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.Held))+"\r\n"...)
+	case response.Framing.Kind == http1msg.FixedLength:
+		buf = append(buf, "Content-Length: "+strconv.FormatInt(response.Framing.Length, 10)+"\r\n"...)
 	}
-	if w.closeAfter {
-		b = append(b, "Connection: close\r\n"...)
+	if x.closeAfter {
+		buf = append(buf, "Connection: close\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	if !noBody && len(a.Held) > 0 {
+	buf = append(buf, "\r\n"...)
+	if !noBody && len(response.Held) > 0 {
 		if chunked {
-			b = http1msg.AppendChunkHeader(b, len(a.Held))
-			b = append(append(b, a.Held...), "\r\n"...)
+			buf = http1msg.AppendChunkHeader(buf, len(response.Held))
+			buf = append(append(buf, response.Held...), "\r\n"...)
 		} else {
-			b = append(b, a.Held...)
+			buf = append(buf, response.Held...)
 		}
 	}
-	if whole && chunked {
-		b = http1msg.AppendLastChunk(b, a.Trailer)
+	if complete && chunked {
+		buf = http1msg.AppendLastChunk(buf, response.Trailer)
 	}
-	w.conn.SetWriteDeadline(time.Now().Add(w.idleTimeout))
-	if _, err := w.conn.Write(b); err != nil {
+	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
+	if _, err := x.conn.Write(buf); err != nil {
 		return false
 	}
-	if !whole {
-		switch whole, failed := w.streamBody(a.Rest, chunked); {
+	if !complete {
+		switch complete, failed := x.streamBody(response.Rest, chunked); {
 		case failed:
-			w.status = http.StatusBadGateway // in all but name: the client can tell that it is not whole
+			x.status = http.StatusBadGateway // in all but name: the client can tell that it is not whole
 			fallthrough
-		case !whole:
-			w.conn.abort()
+		case !complete:
+			x.conn.abort()
 			return false
 		}
 	}
-	return w.server.conns.finishRequest(w.conn) && !w.closeAfter
+	return x.server.conns.finishRequest(x.conn) && !x.closeAfter
 }
 
 // copy passes on what follows of an answer as it comes, and says whether it is whole, and if not, whether that is the
 // endpoint's doing. The client's pace is the endpoint's: what the one does not take, the other is not asked for.
-func (w *exchange) streamBody(rest *upstream.Rest, chunked bool) (complete, failed bool) {
+func (x *exchange) streamBody(rest *upstream.Rest, chunked bool) (complete, failed bool) {
 	buf := copyBufferPool.Get().(*[copyBufferSize]byte)
 	defer copyBufferPool.Put(buf)
 	const chunkHeaderSpace = 16 // for a chunk's head
@@ -465,8 +465,8 @@
 			piece = http1msg.AppendLastChunk(piece, rest.Trailer())
 		}
 		if len(piece) > 0 {
-			w.conn.SetWriteDeadline(time.Now().Add(w.idleTimeout))
-			if _, writeErr := w.conn.Write(piece); writeErr != nil {
+			x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
+			if _, writeErr := x.conn.Write(piece); writeErr != nil {
 				return false, false
 			}
 		}
@@ -506,28 +506,28 @@
 }
 
 // writeHead writes an answer without its body, as HEAD asks for.
-func (c *conn) writeHeadOnly(r *localResponse, closeAfter bool) bool {
-	b := appendResponseHead(nil, r.status, r.header, nil)
-	b = append(b, "Content-Length: "+strconv.Itoa(len(r.body))+"\r\n"...)
+func (c *conn) writeHeadOnly(response *localResponse, closeAfter bool) bool {
+	buf := appendResponseHead(nil, response.status, response.header, nil)
+	buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.body))+"\r\n"...)
 	if closeAfter {
-		b = append(b, "Connection: close\r\n"...)
+		buf = append(buf, "Connection: close\r\n"...)
 	}
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write(append(b, "\r\n"...))
+	_, err := c.Write(append(buf, "\r\n"...))
 	return err == nil
 }
 
 // sending returns the way to make an attempt of a request.
-func (f *Server) attemptFunc(out *upstream.Request) core.AttemptFunc {
-	return func(ctx context.Context, t *core.AttemptContext) engine.AttemptResult {
-		return f.options.SendAttempt(ctx, t, out)
+func (s *Server) attemptFunc(out *upstream.Request) core.AttemptFunc {
+	return func(ctx context.Context, attempt *core.AttemptContext) engine.AttemptResult {
+		return s.options.SendAttempt(ctx, attempt, out)
 	}
 }
 
 // tenantNamed returns a tenant's place in the settings, or one past all places.
-func (f *Server) tenantIndex(name string) uint16 {
-	for i, t := range f.options.Site.Tenants {
-		if t == name {
+func (s *Server) tenantIndex(name string) uint16 {
+	for i, tenant := range s.options.Site.Tenants {
+		if tenant == name {
 			return uint16(i)
 		}
 	}
--- a/internal/frontend/http1/exchange_record.go
+++ b/internal/frontend/http1/exchange_record.go
@@ -24,8 +24,8 @@
 }
 
 // taken begins what is told of a request, nil if nobody is.
-func (f *Server) newExchangeRecord(c *conn, call *core.Call, route, key, object string, requestBytes int64) *ExchangeRecord {
-	if f.options.RecordExchange == nil {
+func (s *Server) newExchangeRecord(c *conn, call *core.Call, route, key, object string, requestBytes int64) *ExchangeRecord {
+	if s.options.RecordExchange == nil {
 		return nil
 	}
 	return &ExchangeRecord{ArrivedAt: call.ArrivedAt, ClientTimeout: call.Request.Deadline - call.ArrivedAt, ClientName: c.client.Name, RouteName: route, Class: call.Request.Class, Tenant: call.Request.Tenant,
@@ -33,16 +33,16 @@
 }
 
 // over tells of a request of a class that is over.
-func (f *Server) finishExchange(record *ExchangeRecord, class uint8, response *engine.Response, status int, responseBytes int64) {
-	f.outcomes.record(class, status)
+func (s *Server) finishExchange(record *ExchangeRecord, class uint8, response *engine.Response, status int, responseBytes int64) {
+	s.outcomes.record(class, status)
 	if record == nil {
 		return
 	}
-	record.EndedAt, record.Status, record.ResponseBytes = f.options.Clock.Now(), status, responseBytes
+	record.EndedAt, record.Status, record.ResponseBytes = s.options.Clock.Now(), status, responseBytes
 	if response != nil {
 		record.Response = *response
 	} else {
 		record.ClientGone = true
 	}
-	f.options.RecordExchange(record)
+	s.options.RecordExchange(record)
 }
--- a/internal/frontend/http1/outcomes.go
+++ b/internal/frontend/http1/outcomes.go
@@ -19,13 +19,13 @@
 }
 
 // settle counts a final answer by the status that its client was told, 0 for none: its client had left.
-func (k *outcomeCounter) record(class uint8, status int) {
-	if status == 0 || int(class) >= len(k.classes) {
+func (c *outcomeCounter) record(class uint8, status int) {
+	if status == 0 || int(class) >= len(c.classes) {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	switch counts := &k.classes[class]; {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch counts := &c.classes[class]; {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		counts.Throttled++
 	case status >= 200 && status < 400:
@@ -36,10 +36,10 @@
 }
 
 // Figures returns how requests ended since the start, by class as in the settings, and how many are open now.
-func (f *Server) RequestStats() (classes []OutcomeCounts, open int) {
-	f.outcomes.mu.Lock()
-	classes = append(classes, f.outcomes.classes...)
-	f.outcomes.mu.Unlock()
-	_, open = f.ConnectionCounts()
+func (s *Server) RequestStats() (classes []OutcomeCounts, open int) {
+	s.outcomes.mu.Lock()
+	classes = append(classes, s.outcomes.classes...)
+	s.outcomes.mu.Unlock()
+	_, open = s.ConnectionCounts()
 	return classes, open
 }
--- a/internal/frontend/http1/peekable.go
+++ b/internal/frontend/http1/peekable.go
@@ -23,60 +23,60 @@
 	readCallback func(fd uintptr) bool
 }
 
-func newPeekableConn(nc net.Conn) *peekableConn {
-	in := &peekableConn{fallback: nc}
-	if sc, ok := nc.(syscall.Conn); ok {
+func newPeekableConn(netConn net.Conn) *peekableConn {
+	p := &peekableConn{fallback: netConn}
+	if sc, ok := netConn.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
-			in.rawConn = raw
+			p.rawConn = raw
 		}
 	}
-	in.readCallback = in.receive
-	return in
+	p.readCallback = p.receive
+	return p
 }
 
 // Read reads what has come. Whoever calls again has looked at that.
-func (in *peekableConn) Read(b []byte) (int, error) {
-	if in.rawConn == nil {
-		in.setUnexamined(false)
-		n, err := in.fallback.Read(b)
-		in.setUnexamined(n > 0)
+func (p *peekableConn) Read(b []byte) (int, error) {
+	if p.rawConn == nil {
+		p.setUnexamined(false)
+		n, err := p.fallback.Read(b)
+		p.setUnexamined(n > 0)
 		return n, err
 	}
 	if len(b) == 0 {
 		return 0, nil
 	}
-	in.readBuffer = b
-	err := in.rawConn.Read(in.readCallback)
-	in.readBuffer = nil
+	p.readBuffer = b
+	err := p.rawConn.Read(p.readCallback)
+	p.readBuffer = nil
 	switch {
 	case err != nil: // a deadline, or it is closed
 		return 0, err
-	case in.readErr != nil:
-		return 0, &net.OpError{Op: "read", Net: "socket", Err: in.readErr}
-	case in.readCount == 0:
+	case p.readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "socket", Err: p.readErr}
+	case p.readCount == 0:
 		return 0, io.EOF
 	}
-	return in.readCount, nil
+	return p.readCount, nil
 }
 
 // receive makes one try, and says whether that was all. Bytes leave the kernel's sight and come into ours at once.
-func (in *peekableConn) receive(fd uintptr) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
+func (p *peekableConn) receive(fd uintptr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for {
-		in.readCount, _, in.readErr = syscall.Recvfrom(int(fd), in.readBuffer, syscall.MSG_DONTWAIT)
-		if in.readErr != syscall.EINTR {
+		p.readCount, _, p.readErr = syscall.Recvfrom(int(fd), p.readBuffer, syscall.MSG_DONTWAIT)
+		if p.readErr != syscall.EINTR {
 			break
 		}
 	}
-	in.unexamined = in.readErr == nil && in.readCount > 0
-	return in.readErr != syscall.EAGAIN
+	p.unexamined = p.readErr == nil && p.readCount > 0
+	return p.readErr != syscall.EAGAIN
 }
 
 // readable waits until something can be read, or the connection has ended.
-func (in *peekableConn) waitReadable() error {
-	in.setUnexamined(false)
-	return in.rawConn.Read(func(fd uintptr) bool { return peekErrno(fd) != syscall.EAGAIN })
+func (p *peekableConn) waitReadable() error {
+	p.setUnexamined(false)
+	return p.rawConn.Read(func(fd uintptr) bool { return peekErrno(fd) != syscall.EAGAIN })
 }
 
 // peek tells what a read would: syscall.EAGAIN where nothing has come.
@@ -91,24 +91,24 @@
 }
 
 // rest says that what came has been looked at, but for what the reader still holds.
-func (in *peekableConn) setUnexamined(unexamined bool) {
-	in.mu.Lock()
-	in.unexamined = unexamined
-	in.mu.Unlock()
+func (p *peekableConn) setUnexamined(unexamined bool) {
+	p.mu.Lock()
+	p.unexamined = unexamined
+	p.mu.Unlock()
 }
 
 // empty says whether nothing has come that has not been looked at. The end of a connection is nothing.
-func (in *peekableConn) isDrained() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.unexamined {
+func (p *peekableConn) isDrained() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unexamined {
 		return false
 	}
-	if in.rawConn == nil {
+	if p.rawConn == nil {
 		return true
 	}
 	pending := false
-	err := in.rawConn.Control(func(fd uintptr) {
+	err := p.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		pending = err == nil && n > 0
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -133,7 +133,7 @@
 }
 
 // SetRoutes has the front go by routes from now on; nil is PROTOCOL. Requests that have been routed keep their way.
-func (f *Server) SetRoutes(r *Routes) { f.routes.Store(r) }
+func (s *Server) SetRoutes(r *Routes) { s.routes.Store(r) }
 
 // safeMethod is RFC 9110 section 9.2.1.
 func isSafeMethod(m string) bool {
@@ -141,9 +141,9 @@
 }
 
 // target takes a request's target apart: its host, its path in normal form and its query with the question mark.
-func (r *Routes) splitTarget(q *http.Request) (host, path, query string, err error) {
-	rest := q.RequestURI
-	host = q.Host
+func (r *Routes) splitTarget(req *http.Request) (host, path, query string, err error) {
+	rest := req.RequestURI
+	host = req.Host
 	if !strings.HasPrefix(rest, "/") {
 		u, parse := url.Parse(rest)
 		if parse != nil || u.Host == "" || u.User != nil || u.Scheme != "http" && u.Scheme != "https" {
@@ -157,7 +157,7 @@
 			rest = "/" + rest
 		}
 	}
-	if !isVisibleASCII(host) && (q.ProtoAtLeast(1, 1) || host != "") {
+	if !isVisibleASCII(host) && (req.ProtoAtLeast(1, 1) || host != "") {
 		return "", "", "", requestErrorf(http.StatusBadRequest, "Host makes no sense")
 	}
 	if i := strings.IndexByte(rest, '#'); i >= 0 {
@@ -173,65 +173,65 @@
 }
 
 // find returns the route of a request, or the answer to one that has none.
-func (r *Routes) match(q *http.Request, host, path string) (*Route, error) {
-	switch i := r.Table.Match(route.NormalizeHost(host), path, q.Method, q.Header); i {
+func (r *Routes) match(req *http.Request, host, path string) (*Route, error) {
+	switch i := r.Table.Match(route.NormalizeHost(host), path, req.Method, req.Header); i {
 	case route.NotFound:
 		return nil, &requestError{status: http.StatusNotFound, reason: "no route", proxyError: "destination_not_found"}
 	case route.NotAllowed:
-		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "no route takes " + q.Method + " here", proxyError: "http_request_denied"}
+		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "no route takes " + req.Method + " here", proxyError: "http_request_denied"}
 	default:
 		return &r.Routes[i], nil
 	}
 }
 
 // place puts a routed request together: the call, but for its body.
-func (f *Server) newRoutedCall(c *conn, q *http.Request, rt *Route, host, path, query string) (*core.Call, *upstream.Request, error) {
+func (s *Server) newRoutedCall(c *conn, req *http.Request, rt *Route, host, path, query string) (*core.Call, *upstream.Request, error) {
 	class, rules := rt.UnsafeClass, rt.UnsafeRules
-	if isSafeMethod(q.Method) {
+	if isSafeMethod(req.Method) {
 		class, rules = rt.SafeClass, rt.SafeRules
 	}
-	settings := &f.options.Site.Settings.Classes[class]
-	if settings.Idempotency == balancer.IdempotentByKey && rt.IdempotencyKey.value(c, q, path) == "" {
+	settings := &s.options.Site.Settings.Classes[class]
+	if settings.Idempotency == balancer.IdempotentByKey && rt.IdempotencyKey.value(c, req, path) == "" {
 		return nil, nil, requestErrorf(http.StatusBadRequest, "%s is missing", rt.IdempotencyKey.Name) // a repeat would not be known as one
 	}
-	out := &upstream.Request{Method: q.Method, Host: host, Header: make(http.Header, len(q.Header)+4), Rules: rules}
-	connection := q.Header["Connection"]
-	for k, v := range q.Header {
-		if !http1msg.IsHopByHop(k, connection) && k != "Expect" && k != "Host" {
-			out.Header[k] = v
+	out := &upstream.Request{Method: req.Method, Host: host, Header: make(http.Header, len(req.Header)+4), Rules: rules}
+	connection := req.Header["Connection"]
+	for call, v := range req.Header {
+		if !http1msg.IsHopByHop(call, connection) && call != "Expect" && call != "Host" {
+			out.Header[call] = v
 		}
 	}
-	if te := q.Header["Te"]; len(te) == 1 && strings.EqualFold(te[0], "trailers") {
+	if te := req.Header["Te"]; len(te) == 1 && strings.EqualFold(te[0], "trailers") {
 		out.Header["Te"] = te // trailers are passed on
 	}
 	if rt.HostOverride != "" {
 		out.Host = rt.HostOverride
 	}
 	out.URI = rt.rewritePath(path) + query
-	left := settings.ClientTimeout
-	if text := rt.Deadline.value(c, q, path); text != "" {
+	timeout := settings.ClientTimeout
+	if text := rt.Deadline.value(c, req, path); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 63)
 		if err != nil {
 			return nil, nil, requestErrorf(http.StatusBadRequest, "%s is not a whole number of milliseconds", rt.Deadline.Name)
 		}
-		left = min(left, int64(min(ms, math.MaxInt32))*1000)
+		timeout = min(timeout, int64(min(ms, math.MaxInt32))*1000)
 	}
 	if rt.Deadline.Kind == FromHeader {
 		delete(out.Header, rt.Deadline.Name) // the endpoint is told what is left then
 	}
-	id := rt.RequestID.value(c, q, path)
+	id := rt.RequestID.value(c, req, path)
 	if id == "" {
 		id = fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 		if rt.RequestID.Kind == FromHeader {
 			out.Header[rt.RequestID.Name] = []string{id}
 		}
 	}
-	rt.setForwarded(c, q, out.Header)
+	rt.setForwarded(c, req, out.Header)
 	rt.RequestEdits.apply(out.Header)
-	k := &core.Call{Client: c.client.engineClient, Pool: rt.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: class,
-		Tenant: f.tenantIndex(rt.Tenant.value(c, q, path)), IdempotencyKey: objectKey(rt.Object.value(c, q, path)), MaxAttempts: rt.MaxAttempts}}
-	k.Request.Deadline = left - siteconfig.ResponseMargin.Microseconds() // from its arrival
-	return k, out, nil
+	call := &core.Call{Client: c.client.engineClient, Pool: rt.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: class,
+		Tenant: s.tenantIndex(rt.Tenant.value(c, req, path)), IdempotencyKey: objectKey(rt.Object.value(c, req, path)), MaxAttempts: rt.MaxAttempts}}
+	call.Request.Deadline = timeout - siteconfig.ResponseMargin.Microseconds() // from its arrival
+	return call, out, nil
 }
 
 // path returns the path that goes on for one that the route has taken.
@@ -247,38 +247,38 @@
 var forwardedFields = []string{"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto"}
 
 // forwarded tells the endpoint of the client.
-func (rt *Route) setForwarded(c *conn, q *http.Request, h http.Header) {
+func (rt *Route) setForwarded(c *conn, req *http.Request, header http.Header) {
 	if rt.ForwardedMode == ForwardedUnchanged {
 		return
 	}
 	earlier := map[string][]string{}
 	for _, name := range forwardedFields {
 		if rt.TrustForwarded {
-			earlier[name] = h[name]
+			earlier[name] = header[name]
 		}
-		delete(h, name)
+		delete(header, name)
 	}
 	address := "unknown" // RFC 7239 section 6.2: on a unix socket there is no address
 	if addr, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		address = addr.IP.String()
 	}
 	appendTo := func(name, v string) {
-		h[name] = []string{strings.Join(append(slices.Clone(earlier[name]), v), ", ")}
+		header[name] = []string{strings.Join(append(slices.Clone(earlier[name]), v), ", ")}
 	}
 	setIfAbsent := func(name, v string) {
-		if h[name] = earlier[name]; len(h[name]) == 0 {
-			h[name] = []string{v}
+		if header[name] = earlier[name]; len(header[name]) == 0 {
+			header[name] = []string{v}
 		}
 	}
 	switch rt.ForwardedMode {
 	case ForwardedXHeaders:
 		appendTo("X-Forwarded-For", address)
-		setIfAbsent("X-Forwarded-Host", q.Host)
+		setIfAbsent("X-Forwarded-Host", req.Host)
 		setIfAbsent("X-Forwarded-Proto", "http")
 	case ForwardedStandard:
 		if strings.Contains(address, ":") {
 			address = `"[` + address + `]"`
 		}
-		appendTo("Forwarded", "for="+address+";host="+strconv.Quote(q.Host)+";proto=http")
+		appendTo("Forwarded", "for="+address+";host="+strconv.Quote(req.Host)+";proto=http")
 	}
 }
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -68,171 +68,171 @@
 }
 
 // New returns a front, or the error of limits that make no sense.
-func New(o Options) (*Server, error) {
-	f := &Server{options: o, outcomes: newOutcomeCounter(len(o.Site.Classes))}
-	f.classRoutes = f.newClassRoutes()
+func New(options Options) (*Server, error) {
+	s := &Server{options: options, outcomes: newOutcomeCounter(len(options.Site.Classes))}
+	s.classRoutes = s.newClassRoutes()
 	var err error
-	f.conns, err = newConnManager(o.Limits, o.Clock, f.serveConn, o.Log)
-	return f, err
+	s.conns, err = newConnManager(options.Limits, options.Clock, s.serveConn, options.Log)
+	return s, err
 }
 
 // NewClient returns a client of the front, or the error of a spec that makes no sense.
-func (f *Server) NewClient(settings ClientSettings) (*Client, error) {
+func (s *Server) NewClient(settings ClientSettings) (*Client, error) {
 	share, err := engine.NewClient(settings.ClientSpec)
 	if err != nil {
 		return nil, err
 	}
 	c := &Client{Name: settings.Name, engineClient: share}
-	f.conns.mu.Lock()
-	defer f.conns.mu.Unlock()
-	c.connOwner = f.conns.table.NewOwner(settings.Weight, f.maxConnections(settings), settings.MaxBytes)
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	c.connOwner = s.conns.table.NewOwner(settings.Weight, s.maxConnections(settings), settings.MaxBytes)
 	return c, nil
 }
 
 // ChangeClient gives a client another spec; what it has open stays open.
-func (f *Server) UpdateClient(c *Client, settings ClientSettings) error {
-	if err := f.options.Core.SetClientSpec(c.engineClient, settings.ClientSpec); err != nil {
+func (s *Server) UpdateClient(c *Client, settings ClientSettings) error {
+	if err := s.options.Core.SetClientSpec(c.engineClient, settings.ClientSpec); err != nil {
 		return err
 	}
-	f.conns.mu.Lock()
-	defer f.conns.mu.Unlock()
-	f.conns.table.UpdateOwner(c.connOwner, settings.Weight, f.maxConnections(settings), settings.MaxBytes)
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	s.conns.table.UpdateOwner(c.connOwner, settings.Weight, s.maxConnections(settings), settings.MaxBytes)
 	return nil
 }
 
-func (f *Server) maxConnections(settings ClientSettings) int {
+func (s *Server) maxConnections(settings ClientSettings) int {
 	if settings.MaxConnections > 0 {
 		return settings.MaxConnections
 	}
-	return f.options.Limits.MaxConnections
+	return s.options.Limits.MaxConnections
 }
 
 // Held returns how many connections a client has, how many of them have an open request, and how many bytes are
 // held for it.
-func (f *Server) ClientUsage(c *Client) (all, busy int, bytes int64) {
-	f.conns.mu.Lock()
-	defer f.conns.mu.Unlock()
+func (s *Server) ClientUsage(c *Client) (all, busy int, bytes int64) {
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
 	all, busy = c.connOwner.Connections()
 	return all, busy, c.connOwner.ReservedBytes()
 }
 
 // Conns returns how many connections there are, and how many of them have an open request.
-func (f *Server) ConnectionCounts() (all, busy int) {
-	f.conns.mu.Lock()
-	defer f.conns.mu.Unlock()
-	return f.conns.table.Counts()
+func (s *Server) ConnectionCounts() (all, busy int) {
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	return s.conns.table.Counts()
 }
 
 // Accept serves connections until ln is closed, or until a deadline that was set on it.
-func (f *Server) Accept(ln net.Listener, identify Identify) error {
-	return f.conns.accept(ln, identify)
+func (s *Server) Accept(ln net.Listener, identify Identify) error {
+	return s.conns.accept(ln, identify)
 }
 
 // AcceptRest serves the connections that wait in ln's queue; Accept must have ended. What comes after it returns waits on.
-func (f *Server) AcceptQueued(ln net.Listener, identify Identify) { f.conns.acceptQueued(ln, identify) }
+func (s *Server) AcceptQueued(ln net.Listener, identify Identify) { s.conns.acceptQueued(ln, identify) }
 
 // Adopt serves a connection that another process has handed over.
-func (f *Server) Adopt(nc net.Conn, identify Identify) { f.conns.add(nc, identify) }
+func (s *Server) Adopt(nc net.Conn, identify Identify) { s.conns.add(nc, identify) }
 
 // Release hands connections over as soon as they rest, from now on: to is called for each, from many goroutines,
 // and says whether it has been taken; our own end of it is closed then. What is not taken goes on here. nil ends
 // that.
-func (f *Server) SetHandoff(handoff func(net.Conn) bool) { f.conns.setHandoff(handoff) }
+func (s *Server) SetHandoff(handoff func(net.Conn) bool) { s.conns.setHandoff(handoff) }
 
 // Quiesce has each answer from now on close its connection, and closes the connections without an open request.
 // It may be called again, for those that have come meanwhile.
-func (f *Server) Quiesce() {
-	f.closing.Store(true)
-	f.conns.quiesce()
+func (s *Server) Quiesce() {
+	s.closing.Store(true)
+	s.conns.quiesce()
 }
 
 // GiveUpHalves closes the connections of whose request only a part has come, and returns how many.
-func (f *Server) ClosePartialRequests() int { return f.conns.closePartialRequests() }
+func (s *Server) ClosePartialRequests() int { return s.conns.closePartialRequests() }
 
 // EndBy has each request that is taken from now on answered by an instant: the process ends then, whatever is open.
-func (f *Server) SetResponseDeadline(deadline monotime.Micros) { f.responseDeadline.Store(deadline) }
+func (s *Server) SetResponseDeadline(deadline monotime.Micros) { s.responseDeadline.Store(deadline) }
 
 // closes says whether an answer that is to be written now is the last on its connection. While all are to close, those whose
 // client has sent a next request, or begun to, are answered once more, as long as there is time for it: what came whole
 // must not be lost.
-func (f *Server) isLastResponse(c *conn) bool {
-	if !f.closing.Load() {
+func (s *Server) isLastResponse(c *conn) bool {
+	if !s.closing.Load() {
 		return false
 	}
-	deadline := f.responseDeadline.Load()
+	deadline := s.responseDeadline.Load()
 	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0) // what was read of the present request is no next one
-	return c.input.isDrained() || deadline > 0 && f.options.Clock.Now() >= deadline
+	return c.input.isDrained() || deadline > 0 && s.options.Clock.Now() >= deadline
 }
 
 // Wait waits until no connection is served, or ctx ends.
-func (f *Server) WaitDrained(ctx context.Context) error { return f.conns.waitDrained(ctx) }
+func (s *Server) WaitDrained(ctx context.Context) error { return s.conns.waitDrained(ctx) }
 
 // Cut closes all connections, those with open requests too.
-func (f *Server) CloseAll() {
-	f.closing.Store(true)
-	f.conns.closeAll()
+func (s *Server) CloseAll() {
+	s.closing.Store(true)
+	s.conns.closeAll()
 }
 
 // talk serves a connection, one request at a time.
-func (f *Server) serveConn(c *conn) {
+func (s *Server) serveConn(c *conn) {
 	deadline := time.Now().Add(RequestTimeout)
-	for f.conns.awaitRequest(c, deadline) {
+	for s.conns.awaitRequest(c, deadline) {
 		if !deadline.IsZero() && !time.Now().Before(deadline) {
 			deadline = time.Time{} // its first byte came in time
 		}
-		if !f.serveRequest(c, deadline) {
+		if !s.serveRequest(c, deadline) {
 			break
 		}
 		deadline = time.Time{}
 	}
-	if f.closing.Load() && !c.input.isDrained() {
+	if s.closing.Load() && !c.input.isDrained() {
 		c.linger() // more came as the last answer went
 	}
 }
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
 // gives its answer. It says whether the connection may serve another.
-func (f *Server) serveRequest(c *conn, deadline time.Time) bool {
+func (s *Server) serveRequest(c *conn, deadline time.Time) bool {
 	c.readLimit.N = MaxHeaderBytes
 	if deadline.IsZero() {
 		deadline = time.Now().Add(RequestTimeout)
 	}
-	if by := f.responseDeadline.Load(); by > 0 { // a request that is not whole by then has no time left
-		if at := time.Now().Add(clock.Duration(by - f.options.Clock.Now())); at.Before(deadline) {
-			deadline = at
+	if responseDeadline := s.responseDeadline.Load(); responseDeadline > 0 { // a request that is not whole by then has no time left
+		if processEnd := time.Now().Add(clock.Duration(responseDeadline - s.options.Clock.Now())); processEnd.Before(deadline) {
+			deadline = processEnd
 		}
 	}
 	c.SetReadDeadline(deadline)
-	routes := f.routes.Load()
+	routes := s.routes.Load()
 	var singletons map[string]bool
 	if routes != nil {
 		singletons = routes.SingletonHeaders
 	}
 	req, err := c.readRequest(singletons)
 	if err != nil {
-		if response := f.unreadableResponse(c, err); response != nil {
+		if response := s.unreadableResponse(c, err); response != nil {
 			c.reject(response)
 		}
 		return false
 	}
 	if req.URL.Path == "/-/ready" && req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
 		response := newLocalResponse(http.StatusOK, "ready")
-		if f.closing.Load() || !f.options.Core.Ready() {
+		if s.closing.Load() || !s.options.Core.Ready() {
 			response = newLocalResponse(http.StatusServiceUnavailable, "not ready")
 		}
-		closeAfter := req.Close || f.isLastResponse(c)
-		return f.conns.markBusy(c) && c.writeResponse(response, closeAfter) && f.conns.finishRequest(c) && !closeAfter
+		closeAfter := req.Close || s.isLastResponse(c)
+		return s.conns.markBusy(c) && c.writeResponse(response, closeAfter) && s.conns.finishRequest(c) && !closeAfter
 	}
 	if routes != nil {
-		return f.serveByRoute(c, req, routes)
+		return s.serveByRoute(c, req, routes)
 	}
-	return f.serveByClass(c, req)
+	return s.serveByClass(c, req)
 }
 
 const surplusBytes = "more was sent than the request's length tells"
 
 // unreadable returns the answer to what is no request, nil if the client has sent nothing or has gone.
-func (f *Server) unreadableResponse(c *conn, err error) *localResponse {
+func (s *Server) unreadableResponse(c *conn, err error) *localResponse {
 	var timeout net.Error
 	code := http.StatusBadRequest
 	switch {
@@ -254,12 +254,12 @@
 // turnedAway returns the answer to a request that is not taken.
 func rejectionResponse(err error) *localResponse {
 	response := newLocalResponse(http.StatusBadRequest, err.Error())
-	if bad := (*requestError)(nil); errors.As(err, &bad) {
-		response.status = bad.status
-		response.setRetryAfter(bad.retryAfter)
+	if reqErr := (*requestError)(nil); errors.As(err, &reqErr) {
+		response.status = reqErr.status
+		response.setRetryAfter(reqErr.retryAfter)
 	}
-	if bad := (*http1msg.HeadError)(nil); errors.As(err, &bad) {
-		response.status = bad.Status
+	if reqErr := (*http1msg.HeadError)(nil); errors.As(err, &reqErr) {
+		response.status = reqErr.Status
 	}
 	return response
 }
