--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -136,10 +136,10 @@
 	return resp.StatusCode, string(text)
 }
 
-func (p *process) setCordon(word, target string) {
+func (p *process) setCordon(action, target string) {
 	p.h.t.Helper()
-	if code, text := p.call("POST", "/endpoints/"+word, `{"target":"`+target+`"}`); code != 200 {
-		p.h.t.Fatalf("%s %s: %d %s", word, target, code, text)
+	if code, text := p.call("POST", "/endpoints/"+action, `{"target":"`+target+`"}`); code != 200 {
+		p.h.t.Fatalf("%s %s: %d %s", action, target, code, text)
 	}
 }
 
@@ -180,7 +180,7 @@
 const restoredLine = `msg="(?:snapshot restored" when="(at the [a-z]+)" skipped|` +
 	`what the other process learned is taken over" when="(at the [a-z]+)" "passed over")=\[\]`
 
-// ends waits for a process that has been told to end, or has handed over.
+// ends waits for a process that was told to stop, or has handed over.
 func (p *process) ends() {
 	p.h.t.Helper()
 	if err := scriptedpeer.Within(p.h.t, p.ended, "end"); err != nil {
@@ -286,7 +286,7 @@
 	}
 }
 
-// Three versions follow one another under load: nobody is turned away at the door, a request half sent and one
+// Three versions follow one another under load: no connection is rejected, a request half sent and one
 // whose answer is waited for are answered, kept connections go on, and an endpoint that is out stays out until
 // it is let in again.
 func TestUpgrades(t *testing.T) {
@@ -418,7 +418,7 @@
 	}
 }
 
-// asGiver listens as the process that serves.
+// actAsPredecessor listens as the process that serves.
 func (h *host) actAsPredecessor() *takeover.Listener {
 	h.t.Helper()
 	ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
@@ -429,7 +429,7 @@
 	return ln
 }
 
-// asTaker connects as a process that wants to take over, and goes so many steps: asked, ready, prepared.
+// connectAsSuccessor connects as a process that wants to take over, and goes so many steps: asked, ready, prepared.
 func (h *host) connectAsSuccessor(steps int) *takeover.Conn {
 	h.t.Helper()
 	c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
@@ -453,7 +453,7 @@
 	return c
 }
 
-// The old process is told to end at each step of a handover to one that falls silent there, or is lost as the
+// The predecessor is told to stop at each step of a handover to one that falls silent there, or is lost as the
 // order comes. What it has taken is answered, and what its clients send whole later is by the time at which the
 // platform kills it: 3 s, the longest that counts, and 0.7 s. The endpoint that has the later one never
 // answers.
@@ -474,25 +474,25 @@
 				defer half.Close()
 				io.WriteString(half, requestHead("POST", "/pay/held", "Content-Length: 2\r\nX-Expires-In-Ms: 3000\r\n")+"o")
 				answered := h.openRequest()
-				taker := h.connectAsSuccessor(steps)
-				defer taker.Close()
-				told := time.Now()
+				successor := h.connectAsSuccessor(steps)
+				defer successor.Close()
+				stopped := time.Now()
 				old.cmd.Process.Signal(syscall.SIGTERM)
 				if lost {
-					taker.Close()
+					successor.Close()
 				}
 				hold <- struct{}{} // the first has its answer
 				if code := scriptedpeer.Within(t, answered, "answer to what was open"); code != 200 {
 					t.Errorf("what was open was answered %d", code)
 				}
 				const killed = 3700 * time.Millisecond
-				time.Sleep(time.Until(told.Add(time.Second))) // whole so late, its own time would end at 4 s
+				time.Sleep(time.Until(stopped.Add(time.Second))) // whole so late, its own time would end at 4 s
 				code, err := exchange(half, bufio.NewReader(half), "k")
-				if took := time.Since(told); code != 504 || took > killed {
+				if took := time.Since(stopped); code != 504 || took > killed {
 					t.Errorf("what was whole later: %d, %v after %v", code, err, took)
 				}
 				old.ends()
-				if took := time.Since(told); took > killed {
+				if took := time.Since(stopped); took > killed {
 					t.Errorf("ended after %v\n%s", took, old.log.String())
 				}
 			})
@@ -500,7 +500,7 @@
 	}
 }
 
-// A process that is to take over is told to end at each step before it serves, twice at once: it ends with 0
+// A successor is told to stop at each step before it serves, twice at once: it ends with 0
 // and has served nobody, and the one that serves sees its end. Who serves is scripted, so that the order comes
 // at that step each time.
 func TestSuccessorStoppedBeforeItServes(t *testing.T) {
@@ -549,7 +549,7 @@
 	}
 }
 
-// A process that has just taken over is told to end while the one before still has an open request: nobody is
+// A process that has just taken over is told to stop while its predecessor still has an open request: nobody is
 // to go on, the request is answered, and both end.
 func TestBothProcessesStop(t *testing.T) {
 	h := newHost(t)
@@ -617,7 +617,7 @@
 			}
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.ends()
-			scriptedpeer.Within(t, over, "hanging up")
+			scriptedpeer.Within(t, over, "end of the connection")
 		})
 	}
 }
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -16,8 +16,8 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// What cannot be changed while serving is changed all the same, under load: nothing is lost, connections go on, a request
-// that is open ends where it is, and what was learned is there.
+// What cannot be changed while serving is changed all the same, under load: nothing is lost, connections go on,
+// a request that is open ends where it is, and what was learned is there.
 func TestChangesUnderLoad(t *testing.T) {
 	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	was := w.config(t, "127.0.0.1:0", freeAddr(t))
@@ -118,8 +118,8 @@
 	}
 }
 
-// The process is told to stop while a generation takes over that is not ready yet, and another process asks to: the one is
-// answered, the other turned away, and the end is in order.
+// The process is told to stop while a generation takes over that is not ready yet, and another process asks to:
+// the one is answered, the other turned away, and the end is in order.
 func TestStopWhileChanging(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	addr := freeAddr(t)
--- a/internal/daemon/golden_test.go
+++ b/internal/daemon/golden_test.go
@@ -7,8 +7,8 @@
 	"testing"
 )
 
-// The golden files were written by the build of commit 870f4ac with every field set. They are never changed: the other
-// process may be of another build.
+// The golden files were written by the build of commit 870f4ac with every field set. They are never changed:
+// the other process may be of another build.
 func TestFormsOfEarlierBuild(t *testing.T) {
 	for file, value := range map[string]any{
 		"testdata/offer.golden.json": &offer{},
--- a/internal/daemon/history_test.go
+++ b/internal/daemon/history_test.go
@@ -218,8 +218,8 @@
 	return len(p), nil
 }
 
-// Every request has exactly one final answer; what is not safe to repeat takes effect once, whatever breaks; what ran is
-// not refused; and a 4xx of an application arrives as it is.
+// Every request has exactly one final answer; what is not safe to repeat takes effect once, whatever breaks;
+// what ran is not refused; and a 4xx of an application arrives as it is.
 func TestJoinedHistories(t *testing.T) {
 	h := play(t, func(http.Header) {})
 	by := map[string]int{}
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -25,8 +25,8 @@
 	return dir, "[process]", "[record]\ndir = \"" + dir + "\"\nsecret = \"" + secret + "\"\nsegment_rows = 100\n[process]"
 }
 
-// A daemon records each request that it took, once, with what became of it, and nothing of a patient's: a key is a hash,
-// the same for all tries with it.
+// A daemon records each request that it took, once, with what became of it, and nothing of a patient's: a key
+// is a hash, the same for all tries with it.
 func TestAccessRecord(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{})
 	dir, was, is := recording(t, w)
@@ -95,7 +95,8 @@
 	}
 }
 
-// A daemon that is killed loses what it held and no more; the next one removes what it had half written, and records on.
+// A daemon that is killed loses what it held and no more; the next one removes what it had half written, and
+// records on.
 func TestRecordAfterKill(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	dir, was, is := recording(t, w)
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -73,8 +73,8 @@
 	return nil, ""
 }
 
-// Whatever an application does, its clients and it see the same through the daemon as through ReverseProxy, apart from
-// what is named.
+// Whatever an application does, its clients and it see the same through the daemon as through ReverseProxy,
+// apart from what is named.
 func TestLikeReverseProxy(t *testing.T) {
 	a := newApp(t, nil)
 	_, addr := routed(t, eight, "ADDRS", addrs(a))
@@ -276,7 +276,8 @@
 	}
 }
 
-// Routes name classes by those that run: a file whose classes are others has a generation of its own, with its own routes.
+// Routes name classes by those that run: a file whose classes are others has a generation of its own, with its
+// own routes.
 func TestRoutesAndTheirClasses(t *testing.T) {
 	a := newApp(t, nil)
 	const classes = "[[class]]\nname = \"read\"\nrepeat = \"safe\"\naim = \"1s\"\ngive_up = \"2s\"\n" +
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// One that gives on before its own giver is done, and ends, does not make that one serve again beside the last.
+// A successor that hands over before its own predecessor is done, and ends, does not make that one serve again
+// beside the last.
 func TestSuccessorHandsOverBeforeItsPredecessorIsDone(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{})
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
@@ -177,7 +178,7 @@
 	}
 }
 
-// A new process that fails its start is told so, and the old one goes on as if nothing had been.
+// A successor that fails to start is rejected, and the predecessor serves on as if nothing had been.
 func TestSuccessorThatFailsToStart(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	c := w.config(t, "127.0.0.1:0", freeAddr(t))
@@ -221,7 +222,7 @@
 	}
 }
 
-// taking is a taker written by hand.
+// scriptedSuccessor is a successor whose messages a test writes.
 type scriptedSuccessor struct {
 	*testing.T
 	*takeover.Conn
@@ -350,7 +351,7 @@
 		defer other.Close()
 		other.send(decide.Hello, fmt.Sprint(decide.Version))
 		if m := other.expect(decide.Rejected); !strings.Contains(string(m.Payload), "under way") {
-			t.Errorf("a second taker was told %q", m.Payload)
+			t.Errorf("a second successor was rejected with %q", m.Payload)
 		}
 		k.Close()
 		var m takeover.Message
@@ -376,13 +377,13 @@
 	return v
 }
 
-// giving is a giver written by hand: it listens for takers and for clients.
+// scriptedPredecessor is a predecessor whose messages a test writes.
 type scriptedPredecessor struct {
 	*scriptedSuccessor
 	ln *takeover.Listener
 }
 
-// give listens as a giver would and waits for a taker.
+// actAsPredecessor listens as a predecessor would and waits for a successor.
 func actAsPredecessor(t *testing.T, path string, took func()) *scriptedPredecessor {
 	t.Helper()
 	ln, err := takeover.Listen(path)
@@ -397,7 +398,7 @@
 		}
 	}()
 	took()
-	c := scriptedpeer.Within(t, got, "taker")
+	c := scriptedpeer.Within(t, got, "successor")
 	t.Cleanup(func() { c.Close() })
 	g := &scriptedPredecessor{&scriptedSuccessor{t, c}, ln}
 	g.expect(decide.Hello)
@@ -475,7 +476,8 @@
 	}
 }
 
-// What a giver does out of order or not at all, a taker survives or gives up, and never accepts before its turn.
+// What a predecessor does out of order or not at all, a successor survives or gives up, and never accepts
+// before its turn.
 func TestPredecessorIsLost(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	for _, tc := range []struct {
@@ -550,7 +552,7 @@
 	if resp, _ := atRest.request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Fatal(resp.Status)
 	}
-	// A taker by hand, slow to become ready; it then passes on what it heard to a real one, as nobody else may.
+	// A scripted successor, slow to become ready.
 	k := connectAsSuccessor(t, c.Takeover.Socket)
 	k.expect(decide.Offer)
 	d.stop()
@@ -589,8 +591,8 @@
 	d.stillServes(t)
 }
 
-// While both are alive a cold endpoint gets no more than from one alone, and one that drains gets nothing past the
-// grace from either.
+// While both are alive an endpoint that is warming up gets no more than from one alone, and one that drains
+// gets nothing past the grace from either.
 func TestWarmUpBudgetIsNotSpentTwice(t *testing.T) {
 	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 3 * time.Millisecond}})
 	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
@@ -601,11 +603,12 @@
 	go func() { report <- load.Run(context.Background()) }()
 	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 300 })
 	// One starts anew, one begins to drain, and at the same moment the processes change.
-	cold, drained := w.entry(1), w.entry(2)
-	cold.StartedMs = time.Now().UnixMilli()
+	warming := w.entry(1)
+	drained := w.entry(2)
+	warming.StartedMs = time.Now().UnixMilli()
 	drained.Lifecycle = "draining"
-	w.roster.Set(cold, drained)
-	told := time.Now()
+	w.roster.Set(warming, drained)
+	listed := time.Now()
 	next := restart(t, d, c)
 	r := scriptedpeer.Within(t, report, "report")
 	if r.By[client.Served] < r.Asked*95/100 {
@@ -614,23 +617,24 @@
 	grace := c.config.Rules.DrainGrace.Duration
 	count := 0
 	for _, run := range w.ledger.Runs() {
-		if run.Endpoint == "s-2" && run.At.Sub(told) > grace {
-			t.Errorf("the draining endpoint got a request %v after it was told", run.At.Sub(told))
+		if run.Endpoint == "s-2" && run.At.Sub(listed) > grace {
+			t.Errorf("the draining endpoint got a request %v after it was listed so", run.At.Sub(listed))
 		}
-		if run.Endpoint == "s-1" && run.At.After(told) {
+		if run.Endpoint == "s-1" && run.At.After(listed) {
 			count++
 		}
 	}
-	// It starts at a fifth of its work, warm in 20 s; sent 2.5 times what it can do for 2 s it falls over. In 3 s its
-	// share of 500 a second, were it warm, is 250 a second: a fifth to a third of that, times 2.5, bounds both together.
-	// It may get nothing: the warm one does it all, and looks better (balancer.TestWarmingEndpointIsHandedOver has it get some).
+	// It starts at a fifth of its work, warm in 20 s; sent 2.5 times what it can do for 2 s it falls over. In 3
+	// s its share of 500 a second, were it warm, is 250 a second: a fifth to a third of that, times 2.5, bounds
+	// both together. It may get nothing: the warm one does it all, and looks better
+	// (balancer.TestWarmingEndpointIsHandedOver has it get some).
 	if most := 618; count > most {
-		t.Errorf("the cold endpoint got %d requests, want %d at most", count, most)
+		t.Errorf("the warming endpoint got %d requests, want %d at most", count, most)
 	}
 	_ = next
 }
 
-// The new process of one that was killed starts cold, at its own pace, on the sockets that were left behind.
+// The new process of one that was killed starts with nothing learned, on the sockets that were left behind.
 func TestPredecessorKilledBefore(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	c := w.config(t)
@@ -645,7 +649,7 @@
 	d := start(t, c)
 	d.stillServes(t)
 	if s := d.core.Snapshot().Pools[0]; s.Learned.Endpoints[0].RTT.Samples > 5 {
-		t.Errorf("it knows what nobody told it: %+v", s.Learned.Endpoints[0])
+		t.Errorf("it knows what it cannot have learned: %+v", s.Learned.Endpoints[0])
 	}
 }
 
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -20,7 +20,8 @@
 	"dunlinsail/internal/fake/xdsserver"
 )
 
-// managed returns the edits of a world's file that have versions come from a service; more are edits of its table control.
+// managed returns the edits of a world's file that have versions come from a service; more are edits of its
+// table control.
 func (w *testFleet) managed(addr, node string, more ...string) []string {
 	// Aims far beyond what a busy computer makes of these loads: what is worse here is so by what a version says.
 	return []string{"127.0.0.1:0", addr, `aim = "500ms"`, `aim = "2s"`, `give_up = "1s"`, `give_up = "10s"`, "[connections]", strings.NewReplacer(more...).Replace(`[control]
@@ -102,8 +103,8 @@
 	}
 }
 
-// Versions are applied in their order, refused with resource, key and reason, and gone back to by the service's word, while
-// requests go on.
+// Versions are applied in their order, refused with resource, key and reason, and gone back to by the service's
+// word, while requests go on.
 func TestVersions(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{Work: map[string]time.Duration{"": time.Millisecond}})
 	s := w.withSteward(t)
@@ -177,8 +178,8 @@
 	checkRuns(t, w.ledger.Runs())
 }
 
-// The last good version starts an instance while its service is away; what is spoilt or does not fit is passed over, and the
-// file serves alone.
+// The last good version starts an instance while its service is away; what is spoilt or does not fit is passed
+// over, and the file serves alone.
 func TestStartsWithTheLastKnownGood(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
@@ -263,8 +264,8 @@
 	}
 }
 
-// A version that comes while another process takes over, or while the daemon ends, is not begun with; one that comes during
-// a trial waits, and the newest of several goes on.
+// A version that comes while another process takes over, or while the daemon ends, is not begun with; one that
+// comes during a trial waits, and the newest of several goes on.
 func TestVersionsAtTheWrongTime(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
@@ -323,7 +324,8 @@
 	eventually(t, s, "5", "good")
 }
 
-// A process that is killed while it tries a version begins with the last good one; after two such the version is refused.
+// A process that is killed while it tries a version begins with the last good one; after two such the version
+// is refused.
 func TestKilledOnTrial(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
 	s := w.withSteward(t)
@@ -389,9 +391,9 @@
 	return f
 }
 
-// Twenty instances under load get good, broken and harmful versions in a seeded order, the harmful ones one instance first:
-// broken ones are refused by all, harmful ones gone back from by the one that tried them, and service stays as it would have
-// been without.
+// Twenty instances under load get good, broken and harmful versions in a seeded order, the harmful ones one
+// instance first: broken ones are refused by all, harmful ones gone back from by the one that tried them, and
+// service stays as it would have been without.
 func TestTwentyInstances(t *testing.T) {
 	broken := []struct {
 		all    []config.Resource
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -387,7 +387,8 @@
 	d.settled(t)
 }
 
-// An answer that breaks is seen to break, whatever would have told its end, and nothing is made up for what is missing.
+// An answer that breaks is seen to break, whatever would have told its end, and nothing is made up for what is
+// missing.
 func TestBrokenAnswers(t *testing.T) {
 	big := strings.Repeat("x", 100_000)
 	for name, text := range map[string]string{
--- a/internal/sidecar/capped_test.go
+++ b/internal/sidecar/capped_test.go
@@ -49,8 +49,8 @@
 	return c.Conn.Close()
 }
 
-// An endpoint that accepts no more connections goes on answering on those it has: they are kept and used, and what finds
-// no connection there goes elsewhere at once. Nobody is failed for it.
+// An endpoint that accepts no more connections goes on answering on those it has: they are kept and used, and
+// what finds no connection there goes elsewhere at once. Nobody is failed for it.
 func TestEndpointFullOfConnections(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -12,7 +12,8 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// What is done at an endpoint is told, by its name and under its address, and read again by who counts a fleet's logs.
+// What is done at an endpoint is told, by its name and under its address, and read again by who counts a
+// fleet's logs.
 func TestEventsAreLogged(t *testing.T) {
 	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
 	c := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -12,9 +12,9 @@
 	"dunlinsail/internal/platform"
 )
 
-// TestWordsOfEarlierBuild reads the file of words by hand that the build of commit 870f4ac wrote, and encodes them to the
-// same bytes, which are also those of the message to another process. The file is never changed: the other process may
-// be of another build.
+// TestCordonsOfEarlierBuild reads the file of cordons that the build of commit 870f4ac wrote, and encodes them
+// to the same bytes, which are also those of the message to another process. The file is never changed: the
+// other process may be of another build.
 func TestCordonsOfEarlierBuild(t *testing.T) {
 	golden, err := os.ReadFile("testdata/words.golden.json")
 	if err != nil {
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -80,7 +80,8 @@
 // noticedWithin is how long after a client has left nothing of its request may go on any more.
 const noticedWithin = 300 * time.Millisecond
 
-// forgets waits until nothing of any request is held any more, and fails the test if that took too long since the client left.
+// forgets waits until nothing of any request is held any more, and fails the test if that took too long since
+// the client left.
 func (s *running) forgets(t *testing.T, left time.Time) {
 	t.Helper()
 	scriptedpeer.Eventually(t, "its place is free", func() bool {
@@ -104,9 +105,9 @@
 	})
 }
 
-// A client that leaves while its request waits for a connection takes it along: nothing of it goes to an endpoint from then
-// on, however the client has left and whatever it had sent before, also where the settings forbid to withdraw what runs. It
-// costs nothing more: its place is free at once, before the connection is up.
+// A client that leaves while its request waits for a connection takes it along: nothing of it goes to an
+// endpoint from then on, however the client has left and whatever it had sent before, also where the settings
+// forbid to withdraw what runs. It costs nothing more: its place is free at once, before the connection is up.
 func TestLeavesWhileConnecting(t *testing.T) {
 	large := strings.Repeat("x", 200<<10)
 	next := func(t *testing.T, r *http.Request) string { return sent(t, r) }
@@ -175,8 +176,9 @@
 	}
 }
 
-// A request that is held until probes have answered waits, too: if its client leaves, nothing of it goes out once they have. A round
-// in which the probes' own time was up first, on a busy machine, shows nothing and is played again.
+// A request that is held until probes have answered waits, too: if its client leaves, nothing of it goes out
+// once they have. A round in which the probes' own time was up first, on a busy machine, shows nothing and is
+// played again.
 func TestLeavesWhileProbesAreWaitedFor(t *testing.T) {
 	var mu sync.Mutex
 	var taken []time.Time
@@ -294,8 +296,8 @@
 	}
 }
 
-// A request whose client had left before it was read goes nowhere. Several were sent at once, and the client went while the
-// first was waiting: nothing of those behind it goes out once that one's time is up.
+// A request whose client had left before it was read goes nowhere. Several were sent at once, and the client
+// went while the first was waiting: nothing of those behind it goes out once that one's time is up.
 func TestLeftBeforeItIsRead(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -16,8 +16,8 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// witness is the reference of clients' connections: when each request reached the endpoint, when its client had left, and what
-// broke a rule.
+// witness is the reference of clients' connections: when each request reached the endpoint, when its client had
+// left, and what broke a rule.
 type witness struct {
 	mu    sync.Mutex
 	taken map[string][]time.Time
@@ -31,10 +31,11 @@
 	w.wrong = append(w.wrong, fmt.Sprintf(format, args...))
 }
 
-// livesOfClients has clients send whole and half requests, one or several behind one another and in pieces, wait, leave in the
-// middle and come again, in an order drawn from a seed, and a sidecar that is told to stop while some wait. It returns what broke a
-// rule: a whole request whose client stayed and that got no final answer, another's answer, an unsafe one that was taken
-// twice, one that was sent on 0.3 s after its client had left, or what is left open. wrongly has the endpoint answer to another.
+// livesOfClients has clients send whole and half requests, one or several behind one another and in pieces,
+// wait, leave in the middle and come again, in an order drawn from a seed, and a sidecar that is told to stop
+// while some wait. It returns what broke a rule: a whole request whose client stayed and that got no final
+// answer, another's answer, an unsafe one that was taken twice, one that was sent on 0.3 s after its client had
+// left, or what is left open. wrongly has the endpoint answer to another.
 func clientLifetimes(t *testing.T, seed uint64, wrongly bool) []string {
 	w := &witness{taken: map[string][]time.Time{}, left: map[string]time.Time{}}
 	rng := rand.New(rand.NewPCG(seed, 37))
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -262,8 +262,8 @@
 	}
 }
 
-// An answer of which the head comes and nothing else is no answer: a request that may be repeated is served by another endpoint, and
-// one that may not gets its final answer in its time.
+// An answer of which the head comes and nothing else is no answer: a request that may be repeated is served by
+// another endpoint, and one that may not gets its final answer in its time.
 func TestHeadWithoutBody(t *testing.T) {
 	var heads atomic.Int32
 	var stalls atomic.Bool
@@ -783,8 +783,8 @@
 	}
 }
 
-// A dial can outlast the window in which a keyed request may be repeated: the second attempt then does not go out, and the
-// request has failed, since the first may have run. Within the window it goes on.
+// A dial can outlast the window in which a keyed request may be repeated: the second attempt then does not go
+// out, and the request has failed, since the first may have run. Within the window it goes on.
 func TestDialOutlastsWindow(t *testing.T) {
 	const window = 400 * time.Millisecond // as in settings
 	for name, late := range map[string]bool{"within": false, "past": true} {
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -38,7 +38,8 @@
 	io.Copy(w, r.Body)
 }
 
-// All forms of a request reach the endpoint with the body that the client meant, and all forms of an answer the client.
+// All forms of a request reach the endpoint with the body that the client meant, and all forms of an answer the
+// client.
 func TestForms(t *testing.T) {
 	s := start(t, before(t, scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -98,7 +99,8 @@
 	}
 }
 
-// Answers as endpoints word them: what is whole is passed on unchanged; what is not whole is never shown as if it were.
+// Answers as endpoints word them: what is whole is passed on unchanged; what is not whole is never shown as if
+// it were.
 func TestAnswerForms(t *testing.T) {
 	long := string(pattern(200 << 10))
 	for _, tc := range []struct {
@@ -179,8 +181,8 @@
 	}
 }
 
-// The first bytes of a large answer go on before the rest is there, and a small one that comes slower than an attempt is
-// usually waited for is neither cut off nor asked for twice.
+// The first bytes of a large answer go on before the rest is there, and a small one that comes slower than an
+// attempt is usually waited for is neither cut off nor asked for twice.
 func TestSlowIsNotSilent(t *testing.T) {
 	seen, tries := make(chan struct{}), atomic.Int32{}
 	handle := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -17,8 +17,8 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// gated is a listener whose Accept waits, once it is shut, until a deadline is set or it is closed: whoever connects until then
-// is in the kernel's queue.
+// gated is a listener whose Accept waits, once it is shut, until a deadline is set or it is closed: whoever
+// connects until then is in the kernel's queue.
 type gated struct {
 	*net.TCPListener
 	mu   sync.Mutex
@@ -141,8 +141,8 @@
 	}
 }
 
-// What a client has sent whole behind a request that is open as the order to stop comes is answered, too, and the last answer
-// closes. The one before does not, and is not taken away by a reset.
+// What a client has sent whole behind a request that is open as the order to stop comes is answered, too, and
+// the last answer closes. The one before does not, and is not taken away by a reset.
 func TestStopBetweenPipelinedRequests(t *testing.T) {
 	taken, release := make(chan struct{}, 4), make(chan struct{})
 	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
@@ -189,8 +189,9 @@
 	}
 }
 
-// However long a request that is whole late could take, all is answered before the platform kills the process, 0.7 s after the
-// longest deadline; clients that go on sending do not keep it open. Attempts hang at the only endpoint.
+// However long a request that is whole late could take, all is answered before the platform kills the process,
+// 0.7 s after the longest deadline; clients that go on sending do not keep it open. Attempts hang at the only
+// endpoint.
 func TestStopEndsInTime(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
@@ -256,8 +257,9 @@
 	return n > 0
 }
 
-// A request of which a part has come as the order to stop does is waited for, head or body: its client has not seen the connection
-// rest, and would not send it again. One that never comes whole is given up when nothing of it could be answered in time.
+// A request of which a part has come as the order to stop does is waited for, head or body: its client has not
+// seen the connection rest, and would not send it again. One that never comes whole is given up when nothing of
+// it could be answered in time.
 func TestStopWaitsForHalfARequest(t *testing.T) {
 	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
