Keep what makes the request after an ejection a trial among the policy files

Need: outlierStats.recordSend extends an ejection, which is a decision, and stood with the records that the policy list leaves out.

--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -53,14 +53,6 @@
 	trialPending        bool            // an attempt since the latest ejection has no outcome yet
 }
 
-// recordSend notes an attempt. After an ejection it is a trial: no other follows before its outcome.
-func (o *outlierStats) recordSend(now monotime.Micros) {
-	if o.ejectionTime > 0 {
-		o.ejectedUntil = max(o.ejectedUntil, now+o.ejectionTime)
-		o.trialPending = true
-	}
-}
-
 // resetEndpoint drops what was learned of an endpoint's earlier process. Attempts and probes in flight stay.
 func (b *Balancer) resetEndpoint(e *endpoint) {
 	*e = endpoint{
--- a/balancer/membership.go
+++ b/balancer/membership.go
@@ -77,11 +77,10 @@
 	b.capacityExpiresAt = now
 	b.removeFromPool(e)
 	if !on {
-		lastSentAt := e.lastSentAt
-		silentSince := e.silentSince
+		before := *e
 		b.resetEndpoint(e)
-		e.lastSentAt = lastSentAt
-		e.silentSince = silentSince
+		e.lastSentAt = before.lastSentAt
+		e.silentSince = before.silentSince
 		b.startWarmup(now, e, now)
 	}
 }
@@ -102,8 +101,7 @@
 	b.actions.SetTimer(delay, tokenDiscovery)
 }
 
-// pollJitter is the time over which the polls of a fleet that starts at once are spread, so that they come no
-// faster than discovery may be able to answer.
+// pollJitter is the time over which a fleet that starts at once spreads its polls: discovery answers so many.
 func (b *Balancer) pollJitter() monotime.Micros {
 	interval := b.settings.Contract.PollInterval
 	return min(max(interval/10, monotime.Micros(b.settings.Balancers)*pollCallTime), interval/2)
--- a/balancer/outliers.go
+++ b/balancer/outliers.go
@@ -29,15 +29,19 @@
 	}
 }
 
+// recordSend notes an attempt. After an ejection it is a trial: no other follows before its outcome.
+func (o *outlierStats) recordSend(now monotime.Micros) {
+	if o.ejectionTime > 0 {
+		o.ejectedUntil = max(o.ejectedUntil, now+o.ejectionTime)
+		o.trialPending = true
+	}
+}
+
 // recordFailure counts a failure of a part of the traffic, and ejects the endpoint for a few in a row.
-// The first request after an ejection is a trial: until its outcome no other follows.
 func (b *Balancer) recordFailure(now monotime.Micros, e *endpoint, part int) {
 	o := &e.outliers[part]
 	o.consecutiveFailures++
-	limit := ejectAfter
-	if part != allTraffic {
-		limit++
-	}
+	limit := ejectAfter + int(indicator(part != allTraffic))
 	if o.consecutiveFailures < limit || now < o.ejectedUntil && !o.trialPending || !b.canEject(now, e, part) {
 		return
 	}
