--- a/internal/decide/quota/allocator.go
+++ b/internal/decide/quota/allocator.go
@@ -47,129 +47,129 @@
 
 // SetBudget sets how many units a second all instances together may spend of a budget. Of a contributed one the
 // lessees' contributions add up to that, and units is ignored.
-func (b *Allocator) SetBudget(name string, units float64, contributed bool) {
-	x := b.budgets[name]
-	if x == nil {
-		x = &budget{ceiling: math.Inf(1)}
-		b.budgets[name] = x
-		b.budgetNames = append(b.budgetNames, name)
-		slices.Sort(b.budgetNames)
-	}
-	x.contributed = contributed
+func (a *Allocator) SetBudget(name string, units float64, contributed bool) {
+	b := a.budgets[name]
+	if b == nil {
+		b = &budget{ceiling: math.Inf(1)}
+		a.budgets[name] = b
+		a.budgetNames = append(a.budgetNames, name)
+		slices.Sort(a.budgetNames)
+	}
+	b.contributed = contributed
 	if !contributed {
-		x.units = units
+		b.units = units
 	}
-	b.dirty = true
+	a.dirty = true
 }
 
 // SetCeiling bounds a contributed budget, whatever its lessees say that they contribute.
-func (b *Allocator) SetCeiling(name string, units float64) {
-	if x := b.budgets[name]; x != nil && x.contributed {
-		x.ceiling = units
+func (a *Allocator) SetCeiling(name string, units float64) {
+	if b := a.budgets[name]; b != nil && b.contributed {
+		b.ceiling = units
 	}
 }
 
 // RemoveBudget removes a budget. What is leased of it expires.
-func (b *Allocator) RemoveBudget(name string) {
-	delete(b.budgets, name)
-	for _, x := range b.sortedLessees {
-		delete(x.committed, name) // if it comes back, what is leased of it is counted anew
+func (a *Allocator) RemoveBudget(name string) {
+	delete(a.budgets, name)
+	for _, lessee := range a.sortedLessees {
+		delete(lessee.committed, name) // if it comes back, what is leased of it is counted anew
 	}
-	b.budgetNames = slices.DeleteFunc(b.budgetNames, func(n string) bool { return n == name })
-	b.dirty = true
+	a.budgetNames = slices.DeleteFunc(a.budgetNames, func(n string) bool { return n == name })
+	a.dirty = true
 }
 
 // Start begins a term. Leases of an allocator before it are not known, and expire within the longest lease's time.
-func (b *Allocator) Start(now monotime.Micros, t lease.Term) {
-	b.term = t
-	b.active = true
-	b.serial = 0
-	b.sortedLessees = nil
-	clear(b.lessees)
-	for _, x := range b.budgets {
-		x.committed = 0
-	}
-	b.recoveringUntil = b.commitmentEnd(now)
-	b.dirty = true
+func (a *Allocator) Start(now monotime.Micros, t lease.Term) {
+	a.term = t
+	a.active = true
+	a.serial = 0
+	a.sortedLessees = nil
+	clear(a.lessees)
+	for _, b := range a.budgets {
+		b.committed = 0
+	}
+	a.recoveringUntil = a.commitmentEnd(now)
+	a.dirty = true
 }
 
 // Stop ends the term: from now on nothing is granted.
-func (b *Allocator) Stop() { b.active = false }
+func (a *Allocator) Stop() { a.active = false }
 
 // ActiveTerm returns the term in which the allocator grants leases; active is false if it does not.
-func (b *Allocator) ActiveTerm() (t lease.Term, active bool) { return b.term, b.active }
+func (a *Allocator) ActiveTerm() (t lease.Term, active bool) { return a.term, a.active }
 
 // RecoveringUntil returns when the allocator begins to grant more than lessees show that they hold.
-func (b *Allocator) RecoveringUntil() monotime.Micros { return b.recoveringUntil }
+func (a *Allocator) RecoveringUntil() monotime.Micros { return a.recoveringUntil }
 
 // commitmentEnd is when units that are leased now can no longer have been spent within the last second, by any clock.
-func (b *Allocator) commitmentEnd(now monotime.Micros) monotime.Micros {
-	return now + b.settings.leaseLifetime() + b.settings.window()
+func (a *Allocator) commitmentEnd(now monotime.Micros) monotime.Micros {
+	return now + a.settings.leaseLifetime() + a.settings.window()
 }
 
 // HandleRequest answers a lessee's request. ok is false if there is no answer: the allocator is not active, or the
 // request is no newer than another of the same lessee.
-func (b *Allocator) HandleRequest(now monotime.Micros, from string, r LeaseRequest) (g Grant, ok bool) {
-	if !b.active {
+func (a *Allocator) HandleRequest(now monotime.Micros, from string, r LeaseRequest) (g Grant, ok bool) {
+	if !a.active {
 		return g, false
 	}
-	g = Grant{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: b.term}
-	if r.Term != b.term {
+	g = Grant{Incarnation: r.Incarnation, Sequence: r.Sequence, Term: a.term}
+	if r.Term != a.term {
 		return g, true // what it shows may have been leased to others since it was sent
 	}
-	x := b.lessee(lesseeID{from, r.Incarnation})
-	if r.Sequence <= x.lastSequence {
+	lessee := a.lessee(lesseeID{from, r.Incarnation})
+	if r.Sequence <= lessee.lastSequence {
 		return g, false
 	}
-	x.lastSequence = r.Sequence
-	x.lastRequestAt = now
-	x.demands = map[string]Demand{}
+	lessee.lastSequence = r.Sequence
+	lessee.lastRequestAt = now
+	lessee.demands = map[string]Demand{}
 	for _, d := range r.Demands {
-		x.demands[d.Budget] = d.sanitized()
+		lessee.demands[d.Budget] = d.sanitized()
 	}
-	b.applyHeldLease(now, x, &r)
-	b.dropExpired(now)
-	if b.dirty || now-b.dividedAt >= b.settings.RequestInterval/4 {
-		b.divide(now)
+	a.applyHeldLease(now, lessee, &r)
+	a.dropExpired(now)
+	if a.dirty || now-a.dividedAt >= a.settings.RequestInterval/4 {
+		a.divide(now)
 	}
-	b.serial++
-	g.Serial = b.serial
-	g.Duration = b.settings.LeaseDuration
-	g.Allocations = b.commit(now, x)
+	a.serial++
+	g.Serial = a.serial
+	g.Duration = a.settings.LeaseDuration
+	g.Allocations = a.commit(now, lessee)
 	return g, true
 }
 
 // commit grants a lessee its part of each budget under the latest serial.
-func (b *Allocator) commit(now monotime.Micros, x *lesseeRecord) (allocations []Allocation) {
+func (a *Allocator) commit(now monotime.Micros, lessee *lesseeRecord) (allocations []Allocation) {
 	units := map[string]int{}
-	for _, name := range b.budgetNames {
-		if n := b.grantableUnits(now, x, name); n > 0 {
+	for _, name := range a.budgetNames {
+		if n := a.grantableUnits(now, lessee, name); n > 0 {
 			units[name] = n
 			allocations = append(allocations, Allocation{name, n})
 		}
 	}
-	x.commitments = append(x.commitments, commitment{b.serial, units, b.commitmentEnd(now)})
-	b.recountCommitted(now, x)
+	lessee.commitments = append(lessee.commitments, commitment{a.serial, units, a.commitmentEnd(now)})
+	a.recountCommitted(now, lessee)
 	return allocations
 }
 
 // grantableUnits returns how many units of a budget a lessee is granted.
-func (b *Allocator) grantableUnits(now monotime.Micros, x *lesseeRecord, name string) int {
-	if now < b.recoveringUntil {
-		return min(x.committedUnits(now, name), x.demands[name].Held)
+func (a *Allocator) grantableUnits(now monotime.Micros, lessee *lesseeRecord, name string) int {
+	if now < a.recoveringUntil {
+		return min(lessee.committedUnits(now, name), lessee.demands[name].Held)
 	}
 	// What is counted for others may have expired since, and is never less than what they have.
-	free := b.leasableUnits(name) - (b.budgets[name].committed - x.committed[name])
-	return max(0, min(x.targets[name], free))
+	free := a.leasableUnits(name) - (a.budgets[name].committed - lessee.committed[name])
+	return max(0, min(lessee.targets[name], free))
 }
 
 // leasableUnits returns how many units of a budget can be leased to all lessees together.
-func (b *Allocator) leasableUnits(name string) int {
-	x := b.budgets[name]
-	if x.contributed {
-		return int((1 - b.settings.Reserve) * x.units)
+func (a *Allocator) leasableUnits(name string) int {
+	b := a.budgets[name]
+	if b.contributed {
+		return int((1 - a.settings.Reserve) * b.units)
 	}
-	return b.settings.Leasable(x.units)
+	return a.settings.Leasable(b.units)
 }
 
 // LeaseStatus is what the allocator takes a lessee to have of a budget, for operators. Its tags are the names in the
@@ -186,13 +186,13 @@
 }
 
 // Leases returns the status of all leases, by lessee and budget.
-func (b *Allocator) Leases(now monotime.Micros) (all []LeaseStatus) {
-	if !b.active {
+func (a *Allocator) Leases(now monotime.Micros) (all []LeaseStatus) {
+	if !a.active {
 		return nil
 	}
-	for _, x := range b.sortedLessees {
-		for _, name := range b.budgetNames {
-			if l := x.status(now, name); l.Units > 0 || l.Requested > 0 {
+	for _, lessee := range a.sortedLessees {
+		for _, name := range a.budgetNames {
+			if l := lessee.status(now, name); l.Units > 0 || l.Requested > 0 {
 				all = append(all, l)
 			}
 		}
--- a/internal/decide/quota/commitment.go
+++ b/internal/decide/quota/commitment.go
@@ -34,72 +34,72 @@
 }
 
 // lessee returns the record of a lessee, a new one if there is none.
-func (b *Allocator) lessee(id lesseeID) *lesseeRecord {
-	if x := b.lessees[id]; x != nil {
-		return x
+func (a *Allocator) lessee(id lesseeID) *lesseeRecord {
+	if record := a.lessees[id]; record != nil {
+		return record
 	}
-	x := &lesseeRecord{lesseeID: id, targets: map[string]int{}, committed: map[string]int{}}
-	b.lessees[id] = x
-	b.sortedLessees = append(b.sortedLessees, x)
-	slices.SortFunc(b.sortedLessees, func(p, q *lesseeRecord) int {
+	record := &lesseeRecord{lesseeID: id, targets: map[string]int{}, committed: map[string]int{}}
+	a.lessees[id] = record
+	a.sortedLessees = append(a.sortedLessees, record)
+	slices.SortFunc(a.sortedLessees, func(p, q *lesseeRecord) int {
 		return cmp.Or(
 			strings.Compare(p.name, q.name),
 			cmp.Compare(float64(p.incarnation), float64(q.incarnation)),
 		)
 	})
-	b.dirty = true
-	return x
+	a.dirty = true
+	return record
 }
 
 // applyHeldLease takes in which lease a lessee shows to be in force. Earlier ones can be spent of no more.
-func (b *Allocator) applyHeldLease(now monotime.Micros, x *lesseeRecord, r *LeaseRequest) {
+func (a *Allocator) applyHeldLease(now monotime.Micros, lessee *lesseeRecord, r *LeaseRequest) {
 	if r.HeldSerial == 0 {
 		return // it may not have received any yet: what it was granted expires
 	}
-	if r.HeldTerm != b.term {
-		b.applyEarlierTerm(now, x)
+	if r.HeldTerm != a.term {
+		a.applyEarlierTerm(now, lessee)
 		return
 	}
-	for i := range x.commitments {
-		if c := &x.commitments[i]; c.serial < r.HeldSerial {
-			c.expiresAt = min(c.expiresAt, now+b.settings.window())
+	for i := range lessee.commitments {
+		if c := &lessee.commitments[i]; c.serial < r.HeldSerial {
+			c.expiresAt = min(c.expiresAt, now+a.settings.window())
 		}
 	}
 }
 
 // applyEarlierTerm commits what a lessee shows to hold by a lease of an allocator before this one.
-func (b *Allocator) applyEarlierTerm(now monotime.Micros, x *lesseeRecord) {
-	if now >= b.recoveringUntil {
+func (a *Allocator) applyEarlierTerm(now monotime.Micros, lessee *lesseeRecord) {
+	if now >= a.recoveringUntil {
 		return // the lease expired before the request arrived
 	}
-	held := commitment{units: map[string]int{}, expiresAt: b.commitmentEnd(now)}
-	for _, d := range x.demands {
+	held := commitment{units: map[string]int{}, expiresAt: a.commitmentEnd(now)}
+	for _, d := range lessee.demands {
 		held.units[d.Budget] = d.Held
 	}
-	x.commitments = slices.DeleteFunc(x.commitments, func(c commitment) bool { return c.serial == 0 })
-	x.commitments = append(x.commitments, held)
+	lessee.commitments = slices.DeleteFunc(lessee.commitments, func(c commitment) bool { return c.serial == 0 })
+	lessee.commitments = append(lessee.commitments, held)
 }
 
 // dropExpired removes expired commitments, and lessees that have none and are silent.
-func (b *Allocator) dropExpired(now monotime.Micros) {
-	b.sortedLessees = slices.DeleteFunc(b.sortedLessees, func(x *lesseeRecord) bool {
-		x.commitments = slices.DeleteFunc(x.commitments, func(c commitment) bool { return now >= c.expiresAt })
-		gone := len(x.commitments) == 0 && now-x.lastRequestAt > b.settings.leaseLifetime()
+func (a *Allocator) dropExpired(now monotime.Micros) {
+	a.sortedLessees = slices.DeleteFunc(a.sortedLessees, func(lessee *lesseeRecord) bool {
+		lessee.commitments = slices.DeleteFunc(lessee.commitments, func(c commitment) bool { return now >= c.expiresAt })
+		gone := len(lessee.commitments) == 0 && now-lessee.lastRequestAt > a.settings.leaseLifetime()
 		if gone {
-			b.recountCommitted(now, x)
-			delete(b.lessees, x.lesseeID)
-			b.dirty = true
+			a.recountCommitted(now, lessee)
+			delete(a.lessees, lessee.lesseeID)
+			a.dirty = true
 		}
 		return gone
 	})
 }
 
 // recountCommitted brings a lessee's part of budget.committed up to date.
-func (b *Allocator) recountCommitted(now monotime.Micros, x *lesseeRecord) {
-	for _, name := range b.budgetNames {
-		n := x.committedUnits(now, name)
-		b.budgets[name].committed += n - x.committed[name]
-		x.committed[name] = n
+func (a *Allocator) recountCommitted(now monotime.Micros, lessee *lesseeRecord) {
+	for _, name := range a.budgetNames {
+		n := lessee.committedUnits(now, name)
+		a.budgets[name].committed += n - lessee.committed[name]
+		lessee.committed[name] = n
 	}
 }
 
--- a/internal/decide/quota/divide.go
+++ b/internal/decide/quota/divide.go
@@ -28,21 +28,21 @@
 
 // divide sets the targets of all lessees: each budget is divided by max-min fairness over the demands (Bertsekas and
 // Gallager, "Data Networks", 6.5.2), in whole units.
-func (b *Allocator) divide(now monotime.Micros) {
-	b.dividedAt = now
-	b.dirty = false
+func (a *Allocator) divide(now monotime.Micros) {
+	a.dividedAt = now
+	a.dirty = false
 	var active []*lesseeRecord
-	for _, x := range b.sortedLessees {
-		clear(x.targets)
-		b.recountCommitted(now, x)
-		if now-x.lastRequestAt <= silentIntervals*b.settings.RequestInterval {
-			active = append(active, x)
+	for _, lessee := range a.sortedLessees {
+		clear(lessee.targets)
+		a.recountCommitted(now, lessee)
+		if now-lessee.lastRequestAt <= silentIntervals*a.settings.RequestInterval {
+			active = append(active, lessee)
 		}
 	}
-	for i, name := range b.budgetNames {
-		b.budgets[name].sumContributions(name, active)
+	for i, name := range a.budgetNames {
+		a.budgets[name].sumContributions(name, active)
 		if len(active) > 0 {
-			b.divideBudget(now, name, uint64(i), active)
+			a.divideBudget(now, name, uint64(i), active)
 		}
 	}
 }
@@ -60,8 +60,8 @@
 }
 
 // divideBudget sets the targets of one budget.
-func (b *Allocator) divideBudget(now monotime.Micros, name string, seed uint64, active []*lesseeRecord) {
-	units := b.leasableUnits(name)
+func (a *Allocator) divideBudget(now monotime.Micros, name string, seed uint64, active []*lesseeRecord) {
+	units := a.leasableUnits(name)
 	if units <= 0 {
 		return
 	}
@@ -79,12 +79,12 @@
 func newClaims(now monotime.Micros, name string, seed uint64, active []*lesseeRecord, units int) []claim {
 	claims := make([]claim, len(active))
 	total := 0
-	for i, x := range active {
+	for i, lessee := range active {
 		rotation := hash64.SplitMix(seed ^ uint64(now/rotationPeriod))
 		claims[i] = claim{
-			lessee: x,
-			units:  int(min(math.Ceil(x.demands[name].Requested), float64(units))),
-			rank:   hash64.SplitMix(rotation ^ hash64.String(x.name)),
+			lessee: lessee,
+			units:  int(min(math.Ceil(lessee.demands[name].Requested), float64(units))),
+			rank:   hash64.SplitMix(rotation ^ hash64.String(lessee.name)),
 		}
 		total += claims[i].units
 	}
@@ -92,8 +92,8 @@
 		return claims
 	}
 	fairShare := float64(units) / float64(len(active))
-	for i, x := range active {
-		if d := x.demands[name]; d.Used < minUtilization*float64(d.Held) {
+	for i, lessee := range active {
+		if d := lessee.demands[name]; d.Used < minUtilization*float64(d.Held) {
 			claims[i].units = min(claims[i].units, int(math.Ceil(math.Max(fairShare, 2*d.Used))))
 		}
 	}
