--- a/internal/daemon/canary.go
+++ b/internal/daemon/canary.go
@@ -20,7 +20,7 @@
 	s.MinDuration = min(s.Duration/4, 5_000_000)
 	var err error
 	if p.canary, err = canary.NewAnalysis(s, p.baselineSamples...); err != nil {
-		p.log.Error("no trial", "error", err) // config has checked what it needs
+		p.log.Error("canary not started", "error", err) // config has checked what it needs
 		p.carryOut(p.machine.HandleCanaryResult(now(), ""))
 		return
 	}
@@ -59,7 +59,7 @@
 		p.carryOut(p.machine.HandleCanaryResult(now(), fmt.Sprintf("worse by %s: %s", figures.Metric, figures.Text())))
 	default:
 		p.canary = nil
-		p.log.Info("trial ended", "verdict", verdict.String(), "figures", figures.Text())
+		p.log.Info("canary ended", "verdict", verdict.String(), "figures", figures.Text())
 		p.baselineSamples = append(p.baselineSamples, p.canarySamples...)
 		p.baselineSamples = p.baselineSamples[max(0, len(p.baselineSamples)-maxBaselineSamples):]
 		t.setObjectives(p.serving.options.Config.Site.Settings.Classes, nil)
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -60,7 +60,7 @@
 	if path := d.config.Maintenance.StateFile; path != "" {
 		var err error
 		if x.file, err = consensus.OpenBoltStore(path); err != nil {
-			d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
+			d.log.Error("consensus vote not available, following only", "error", err)
 		} else {
 			disk = x.file
 		}
@@ -70,7 +70,7 @@
 		return err
 	}
 	if err != nil {
-		d.log.Error("this instance has no vote in the order of machines out; it obeys", "error", err)
+		d.log.Error("consensus vote not available, following only", "error", err)
 	}
 	x.node = node
 	node.SetSources(x.machineFacts, func(name string) int { return x.open[name] })
@@ -174,7 +174,7 @@
 	}
 	if fmt.Sprint(o) != fmt.Sprint(x.applied) {
 		if fmt.Sprint(o.Excluded) != fmt.Sprint(x.applied.Excluded) {
-			x.generation.log.Info("machines out for work", "out", o.Excluded, "next in line", o.Announced)
+			x.generation.log.Info("maintenance plan changed", "out", o.Excluded, "next in line", o.Announced)
 		}
 		x.applied = o
 		x.generation.core.ApplyMaintenancePlan(o)
@@ -187,11 +187,11 @@
 	}
 	if x.node.LogMissing() && x.node.PlanFollower().HasPlan() && !x.voteLossLogged {
 		x.voteLossLogged = true
-		x.generation.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
+		x.generation.log.Error("consensus log missing, following only")
 	}
 	if err := x.node.VoterError(); err != nil && !x.voteLossLogged {
 		x.voteLossLogged = true
-		x.generation.log.Error("this instance has no vote in the order of machines out any more; it obeys", "error", err)
+		x.generation.log.Error("consensus vote lost, following only", "error", err)
 	}
 }
 
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -120,7 +120,7 @@
 		return
 	}
 	tables, live := p.serving.changesLive(c)
-	p.log.Info("configuration", "version", s.Target.String(), "while serving", live, "tables", tables)
+	p.log.Info("configuration change", "version", s.Target.String(), "while serving", live, "tables", tables)
 	if !live {
 		if err := p.startSuccessor(c); err != nil {
 			p.onApplied(err)
@@ -172,7 +172,7 @@
 	id := s.Version.ID.String()
 	switch {
 	case s.Action == rollout.ActionNack:
-		p.log.Error("configuration refused, the one before it is kept", "version", id, "reason", s.Reason)
+		p.log.Error("configuration rejected", "version", id, "reason", s.Reason)
 	case s.Confirmed:
 		p.log.Info("configuration applied", "version", id)
 	default:
--- a/internal/daemon/rollout_source.go
+++ b/internal/daemon/rollout_source.go
@@ -55,14 +55,14 @@
 		},
 	})
 	if err != nil {
-		p.log.Error("no versions of the configuration will come", "error", err)
+		p.log.Error("control service not followed", "error", err)
 		return
 	}
 	var ctx context.Context
 	ctx, p.stopFollowing = context.WithCancel(context.Background())
 	p.client = client
 	p.following.Go(func() { client.Run(ctx) })
-	p.log.Info("versions of the configuration come from a control service", "service", c.ControlPlane.Address)
+	p.log.Info("following control service", "service", c.ControlPlane.Address)
 }
 
 // runningServiceVersion returns which of the service's versions runs, or will in a moment; nil for none.
--- a/internal/daemon/rollout_state.go
+++ b/internal/daemon/rollout_state.go
@@ -23,18 +23,18 @@
 	if c := &file.ControlPlane; c.StateDir != "" {
 		var err error
 		if p.cache, err = configcache.Open(c.StateDir); err != nil {
-			p.log.Error("no version of the configuration will be kept", "folder", c.StateDir, "error", err)
+			p.log.Error("configuration cache not available", "folder", c.StateDir, "error", err)
 		} else if k := p.loadState(); k != nil {
 			known = *k
 		}
 	}
 	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.ControlPlane.Address != "" {
 		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
-			p.log.Error("the last good version cannot be begun with, the file alone is", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
+			p.log.Error("last known good version rejected, starting with the file", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
 		} else {
 			p.first = c
 			running.ControlPlane = known.LastKnownGood.ControlPlane
-			p.log.Info("beginning with the last good version", "version", running.String())
+			p.log.Info("starting with the last known good version", "version", running.String())
 		}
 	}
 	if known.LastKnownGood != nil && !sameContents(known.LastKnownGood, &running) {
@@ -57,7 +57,7 @@
 func (p *process) loadState() *rollout.PersistentState {
 	k, from, err := p.cache.Load()
 	if err != nil {
-		p.log.Error("what was kept of versions is not all sound", "from", from, "error", err)
+		p.log.Error("rollout state incomplete", "from", from, "error", err)
 	}
 	if k == nil {
 		return nil
@@ -115,7 +115,7 @@
 		}
 		p.post(func() {
 			if reason != "" && p.machine.PersistError() == "" {
-				p.log.Error("what is known of versions cannot be written down; it is tried again", "error", reason)
+				p.log.Error("rollout state not saved, retrying", "error", reason)
 			}
 			p.carryOut(p.machine.HandlePersisted(now(), reason))
 		})
@@ -190,6 +190,6 @@
 		err = p.cache.Save(k, contents)
 	}
 	if err != nil {
-		p.log.Warn("what is known of versions cannot be written down", "error", err)
+		p.log.Warn("rollout state not saved", "error", err)
 	}
 }
--- a/internal/daemon/spentlog.go
+++ b/internal/daemon/spentlog.go
@@ -38,7 +38,7 @@
 			}
 			// The disk may be full: what is spent is bounded all the same. A writer that has failed writes
 			// nothing more.
-			log.Error("peers.spent is not kept any more", "file", path)
+			log.Error("spent log failed", "file", path)
 			for range s.lines {
 			}
 			return
