--- a/internal/decide/quota/commitment.go
+++ b/internal/decide/quota/commitment.go
@@ -82,8 +82,9 @@
 
 // dropExpired removes expired commitments, and lessees that have none and are silent.
 func (a *Allocator) dropExpired(now monotime.Micros) {
+	expired := func(c commitment) bool { return now >= c.expiresAt }
 	a.sortedLessees = slices.DeleteFunc(a.sortedLessees, func(lessee *lesseeRecord) bool {
-		lessee.commitments = slices.DeleteFunc(lessee.commitments, func(c commitment) bool { return now >= c.expiresAt })
+		lessee.commitments = slices.DeleteFunc(lessee.commitments, expired)
 		gone := len(lessee.commitments) == 0 && now-lessee.lastRequestAt > a.settings.leaseLifetime()
 		if gone {
 			a.recountCommitted(now, lessee)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -142,7 +142,9 @@
 	}
 	c.Transport = &transport{netTransport, p.options.DialVia}
 	if p.list, err = memberlist.Create(c); err != nil {
-		netTransport.Shutdown()
+		if shutdownErr := netTransport.Shutdown(); shutdownErr != nil {
+			p.options.Log.Warn("gossip shutdown failed", "error", shutdownErr)
+		}
 		return err
 	}
 	return nil
