Split the parsing of a sidecar's configuration by concern

The file, the environment, addresses and limits are read in functions of their own, in the same order, so that the first mistake that is named stays the same. go test of internal/platform passes.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -59,7 +59,7 @@
 	defaultKeepAlive = 15 * time.Second
 )
 
-// LeastSockets is how few descriptors a sidecar may be given.
+// MinSockets is how few descriptors a sidecar may be given.
 const MinSockets = 64
 
 // Read reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
@@ -79,21 +79,24 @@
 	return c, nil
 }
 
-// Parse reads the text of a configuration. Its errors name the key.
+// configFile is the configuration file.
+type configFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB *int `json:"memory_mb"`
+		Sockets  *int `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.List `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Parse parses the text of a configuration. Its errors are of type *ConfigError and name the key.
 func Parse(text []byte, getenv func(string) string) (*Config, error) {
-	var file struct {
-		Name      string `json:"name"`
-		Listen    string `json:"listen"`
-		Discovery string `json:"discovery"`
-		Operator  string `json:"operator"`
-		Seed      string `json:"seed"`
-		Limits    struct {
-			MemoryMB *int `json:"memory_mb"`
-			Sockets  *int `json:"sockets"`
-		} `json:"limits"`
-		Known    *discovery.List `json:"known"`
-		Settings json.RawMessage `json:"settings"`
-	}
+	var file configFile
 	if err := json.Unmarshal(text, &file); err != nil {
 		key := "file"
 		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
@@ -110,8 +113,39 @@
 		MemoryMB:      defaultMemoryMB,
 		Sockets:       defaultSockets,
 	}
+	if err := c.applyEnvironment(getenv); err != nil {
+		return nil, err
+	}
+	if err := c.checkAddresses(); err != nil {
+		return nil, err
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, &ConfigError{"seed", err}
+	}
+	if err := c.applyLimits(&file); err != nil {
+		return nil, err
+	}
+	// Without a list in the file, the first one that comes names endpoints that have long been there: an empty one
+	// would make all endpoints look just started, and warming up.
+	c.Known = discovery.List{Generation: discovery.NoGeneration}
+	if file.Known != nil {
+		c.Known = *file.Known
+	}
+	if len(file.Settings) == 0 {
+		return nil, &ConfigError{"settings", errors.New("is missing")}
+	}
+	return c, c.parseSettings(file.Settings)
+}
+
+// applyEnvironment applies the ROUTER_ variables, which go before the file.
+func (c *Config) applyEnvironment(getenv func(string) string) error {
 	for name, to := range map[string]*string{
-		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_OPERATOR": &c.AdminAddress} {
+		"ROUTER_NAME":      &c.Name,
+		"ROUTER_LISTEN":    &c.Listen,
+		"ROUTER_DISCOVERY": &c.Discovery,
+		"ROUTER_OPERATOR":  &c.AdminAddress,
+	} {
 		if v := getenv(name); v != "" {
 			*to = v
 		}
@@ -119,7 +153,7 @@
 	if v := getenv("ROUTER_INHERITED_FD"); v != "" {
 		fd, err := strconv.Atoi(v)
 		if err != nil || fd < 3 {
-			return nil, &ConfigError{"ROUTER_INHERITED_FD", fmt.Errorf("%q is no descriptor from 3 on", v)}
+			return &ConfigError{"ROUTER_INHERITED_FD", fmt.Errorf("%q is no descriptor from 3 on", v)}
 		}
 		c.InheritedFD = fd
 		c.SharedDir = getenv("TMPDIR")
@@ -129,47 +163,50 @@
 	case "1":
 		c.Events = os.Stderr
 	default:
-		return nil, &ConfigError{"ROUTER_EVENTS", fmt.Errorf("%q is neither 0 nor 1", v)}
+		return &ConfigError{"ROUTER_EVENTS", fmt.Errorf("%q is neither 0 nor 1", v)}
 	}
 	switch v := getenv("ROUTER_OVERLOAD"); v {
 	case "", "0", "1":
 		c.OverloadControl = v == "1"
 	default:
-		return nil, &ConfigError{"ROUTER_OVERLOAD", fmt.Errorf("%q is neither 0 nor 1", v)}
+		return &ConfigError{"ROUTER_OVERLOAD", fmt.Errorf("%q is neither 0 nor 1", v)}
 	}
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
-		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}, {"operator", cmp.Or(c.AdminAddress, c.Listen)}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return nil, &ConfigError{a.key, err}
+	return nil
+}
+
+// checkAddresses checks that each address has a host and a port.
+func (c *Config) checkAddresses() error {
+	for _, a := range []struct{ key, address string }{
+		{"listen", c.Listen},
+		{"discovery", c.Discovery},
+		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)},
+		{"operator", cmp.Or(c.AdminAddress, c.Listen)},
+	} {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return &ConfigError{a.key, err}
 		}
 	}
-	var err error
-	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return nil, &ConfigError{"seed", err}
-	}
+	return nil
+}
+
+// applyLimits applies the file's limits of memory and descriptors.
+func (c *Config) applyLimits(file *configFile) error {
 	if v := file.Limits.MemoryMB; v != nil {
-		if c.MemoryMB = *v; *v < 1 {
-			return nil, &ConfigError{"limits.memory_mb", fmt.Errorf("%d is not positive", *v)}
+		c.MemoryMB = *v
+		if *v < 1 {
+			return &ConfigError{"limits.memory_mb", fmt.Errorf("%d is not positive", *v)}
 		}
 	}
 	if v := file.Limits.Sockets; v != nil {
-		if c.Sockets = *v; *v < MinSockets {
-			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, MinSockets)}
+		c.Sockets = *v
+		if *v < MinSockets {
+			return &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, MinSockets)}
 		}
 	}
-	// Without a list that was held, the first one that comes names what has long been there: an empty one would
-	// make all endpoints look just started, and warming up.
-	c.Known = discovery.List{Generation: discovery.NoGeneration}
-	if file.Known != nil {
-		c.Known = *file.Known
-	}
-	if len(file.Settings) == 0 {
-		return nil, &ConfigError{"settings", errors.New("is missing")}
-	}
-	return c, c.parseSettings(file.Settings)
+	return nil
 }
 
-// settings reads the settings twice: as the simulator's text, by the parser that the simulator's host uses,
+// parseSettings reads the settings twice: as the simulator's text, by the parser that the simulator's host uses,
 // and for the names that only the sockets need.
 func (c *Config) parseSettings(raw json.RawMessage) error {
 	var names struct {
@@ -269,7 +306,7 @@
 	return strings.Join(lines, "\n"), nil
 }
 
-// plain writes a value as the text form does, where commas and ends of lines separate.
+// settingsValue writes a value as the text form does, where commas and ends of lines separate.
 func settingsValue(v any) string {
 	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_").Replace(fmt.Sprint(v))
 }
