Split the validation of the site's settings; one step a line in config

A function of 85 lines checked fleet, attempts, rules, prices, overload and tenants, and made the settings. It is now one method for each table, in the same order. go test -race ./internal/config: ok.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,7 @@
-// Package config reads the daemon's file: TOML, strictly. What is not known, makes no sense or does not fit the
-// rest is an error that names key, line and reason; all of them are told at once. It knows the file only: what is
-// done with a configuration, package daemon decides.
+// Package config reads and validates the daemon's file: strict TOML, in which unknown keys, invalid values and
+// contradictions are errors with key, line and reason, reported all at once. It also combines a file with the
+// resources of a version from the control plane. What is done with a configuration, package daemon decides; this
+// package must not import it.
 package config
 
 import (
@@ -12,7 +13,7 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// Config is what a daemon is told by its file.
+// Config is the configuration of a daemon.
 type Config struct {
 	Name string `toml:"name"`
 
@@ -46,17 +47,17 @@
 	Routes []Route `toml:"route"`
 	Paths  Paths   `toml:"paths"`
 
-	// Text is the file's, as it was parsed.
+	// Text is the file's text.
 	Text []byte `toml:"-"`
 
-	// Table finds the route of a request; nil where there are none, and requests are PROTOCOL's.
+	// Table finds the route of a request; nil without routes: requests are those of PROTOCOL then.
 	Table *route.Table `toml:"-"`
 
-	// Site is what the decisions are told, made of the tables from fleet on.
+	// Site holds the settings of the decision packages, made of the tables from fleet on.
 	Site siteconfig.Site `toml:"-"`
 }
 
-// Read reads and checks a file. An error of what it holds is strict.Errors.
+// Read reads and validates a file. An error of its content is stricttoml.Errors.
 func Read(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -65,7 +66,7 @@
 	return Parse(text)
 }
 
-// Parse checks a file's text. Its error is strict.Errors.
+// Parse decodes and validates a file's text. Its error is stricttoml.Errors.
 func Parse(text []byte) (*Config, error) {
 	c := defaults()
 	lines, err := stricttoml.Decode(text, &c)
@@ -82,21 +83,24 @@
 	return &c, nil
 }
 
-// Differs returns the tables that differ between two files and cannot be changed while a daemon serves: all but the
-// clients' bounds, pools, routes and where discovery is.
+// TablesNeedingRestart returns the tables that differ between two files and cannot be changed while a daemon serves:
+// all but the clients' limits, pools, routes and the address of discovery.
 func (c *Config) TablesNeedingRestart(next *Config) []string {
 	var all []string
-	a, b := reflect.ValueOf(*c), reflect.ValueOf(*next)
-	for i := range a.NumField() {
-		name := a.Type().Field(i).Tag.Get("toml")
-		x, y := a.Field(i).Interface(), b.Field(i).Interface()
+	present := reflect.ValueOf(*c)
+	following := reflect.ValueOf(*next)
+	for i := range present.NumField() {
+		name := present.Type().Field(i).Tag.Get("toml")
+		was := present.Field(i).Interface()
+		will := following.Field(i).Interface()
 		switch name {
 		case "-", "client", "others", "pool", "route", "paths":
 			continue
 		case "discovery":
-			x, y = c.Discovery.Mode, next.Discovery.Mode
+			was = c.Discovery.Mode
+			will = next.Discovery.Mode
 		}
-		if !reflect.DeepEqual(x, y) {
+		if !reflect.DeepEqual(was, will) {
 			all = append(all, name)
 		}
 	}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -18,6 +18,7 @@
 	From, To any    // nil is that it is not there
 }
 
+// String returns one line: + added, - removed or ~ changed, resource, key and values.
 func (c *Change) String() string {
 	what := c.Resource
 	if c.Key != "" {
@@ -42,16 +43,18 @@
 
 // Diff returns what differs between two versions, by resource and key.
 func Diff(from, to []Resource) (all []Change) {
-	a, b := byID(from), byID(to)
-	ids := slices.Collect(maps.Keys(a))
-	for id := range b {
-		if _, both := a[id]; !both {
+	before := byID(from)
+	after := byID(to)
+	ids := slices.Collect(maps.Keys(before))
+	for id := range after {
+		if _, both := before[id]; !both {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		x, y := a[id], b[id]
+		x := before[id]
+		y := after[id]
 		switch {
 		case x == nil:
 			all = append(all, Change{Resource: id, To: y.Fields})
@@ -66,8 +69,10 @@
 			}
 			slices.Sort(keys)
 			for _, key := range keys {
-				if v, w := x.Fields[key], y.Fields[key]; !reflect.DeepEqual(v, w) {
-					all = append(all, Change{id, key, v, w})
+				was := x.Fields[key]
+				is := y.Fields[key]
+				if !reflect.DeepEqual(was, is) {
+					all = append(all, Change{id, key, was, is})
 				}
 			}
 		}
--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -49,13 +49,15 @@
 	all := map[string]ResourceKind{}
 	of := reflect.TypeFor[Config]()
 	for i := range of.NumField() {
-		name, t := of.Field(i).Tag.Get("toml"), of.Field(i).Type
+		name := of.Field(i).Tag.Get("toml")
+		t := of.Field(i).Type
 		if name == "-" || slices.Contains(localOnly, name) {
 			continue
 		}
 		k := ResourceKind{Name: name, Type: t}
 		if t.Kind() == reflect.Slice {
-			k.List, k.Type = true, t.Elem()
+			k.List = true
+			k.Type = t.Elem()
 		} else if t.Kind() == reflect.Pointer {
 			k.Type = t.Elem()
 		}
@@ -88,7 +90,8 @@
 
 // CheckResources says what of a version makes no sense by itself: kinds, names, and more than may be.
 func CheckResources(all []Resource) error {
-	kinds, seen := ResourceKinds(), map[string]bool{}
+	kinds := ResourceKinds()
+	seen := map[string]bool{}
 	if len(all) > maxResources {
 		return fmt.Errorf("%d resources, %d at most", len(all), maxResources)
 	}
@@ -233,7 +236,8 @@
 		r := &all[i]
 		table := integralFloatsToInts(r.Fields).(map[string]any)
 		table["name"] = r.Name
-		entries[r.Name], from[r.Name] = table, r.ID()
+		entries[r.Name] = table
+		from[r.Name] = r.ID()
 	}
 	var order []string // the file's first, so that a list that is the same is in the same order
 	old, _ := m.tree[kind].([]any)
@@ -241,7 +245,8 @@
 		table, _ := x.(map[string]any)
 		name, _ := table["name"].(string)
 		if m.pinned[kind+"."+name] {
-			entries[name], from[name] = table, ""
+			entries[name] = table
+			from[name] = ""
 		}
 		if entries[name] != nil && !slices.Contains(order, name) {
 			order = append(order, name)
@@ -318,14 +323,17 @@
 			key = place + "." + last
 		}
 		parts := strings.SplitN(key, ".", 3)
-		who, rest := "the file", key
+		who := "the file"
+		rest := key
 		if ids := m.listOrigins[parts[0]]; ids != nil {
-			at, inList := 0, m.kinds[parts[0]].List
+			at := 0
+			inList := m.kinds[parts[0]].List
 			if inList && len(parts) > 1 {
 				_, _ = fmt.Sscan(parts[1], &at) // the place in a list, a number
 			}
 			if at < len(ids) && ids[at] != "" {
-				who, rest = ids[at], strings.Join(parts[1:], ".")
+				who = ids[at]
+				rest = strings.Join(parts[1:], ".")
 				if inList && len(parts) > 1 {
 					rest = strings.Join(parts[2:], ".")
 				}
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -117,8 +117,12 @@
 		return
 	}
 	if len(c.Classes) == 0 {
-		aim, end := stricttoml.Duration{Duration: 10 * time.Second}, stricttoml.Duration{Duration: 30 * time.Second}
-		c.Classes = []Class{{Name: ReadClass, Idempotency: "safe", LatencyObjective: aim, ClientTimeout: end}, {Name: WriteClass, Idempotency: "unsafe", LatencyObjective: aim, ClientTimeout: end}}
+		objective := stricttoml.Duration{Duration: 10 * time.Second}
+		timeout := stricttoml.Duration{Duration: 30 * time.Second}
+		c.Classes = []Class{
+			{Name: ReadClass, Idempotency: "safe", LatencyObjective: objective, ClientTimeout: timeout},
+			{Name: WriteClass, Idempotency: "unsafe", LatencyObjective: objective, ClientTimeout: timeout},
+		}
 	}
 	if len(c.Clients) == 0 && c.OtherClients == nil {
 		c.OtherClients = &ClientLimits{}
--- a/internal/config/validate_clients.go
+++ b/internal/config/validate_clients.go
@@ -11,7 +11,8 @@
 
 // connections checks the bounds on connections, and fills in those that are left to the descriptors.
 func (k *validator) connections(c *Config) {
-	n, free := &c.Connections, c.Process.Descriptors-reservedDescriptors
+	n := &c.Connections
+	free := c.Process.Descriptors - reservedDescriptors
 	if n.MaxClients == 0 {
 		n.MaxClients = free / 2
 	}
@@ -34,7 +35,8 @@
 
 func (k *validator) clients(c *Config) {
 	names := map[string]bool{}
-	uids, gids := map[uint32]string{}, map[uint32]string{}
+	uids := map[uint32]string{}
+	gids := map[uint32]string{}
 	for i := range c.Clients {
 		cl := &c.Clients[i]
 		at := func(key string) string { return fmt.Sprintf("client.%d.%s", i, key) }
@@ -54,7 +56,8 @@
 		k.bounds(c.OtherClients, func(key string) string { return "others." + key })
 	}
 	k.Require(len(c.Listeners) > 0, "listener", "at least one is needed")
-	listeners, addresses := map[string]bool{}, map[string]bool{}
+	listeners := map[string]bool{}
+	addresses := map[string]bool{}
 	for i := range c.Listeners {
 		l := &c.Listeners[i]
 		at := func(key string) string { return fmt.Sprintf("listener.%d.%s", i, key) }
--- a/internal/config/validate_site.go
+++ b/internal/config/validate_site.go
@@ -10,18 +10,40 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// fields are the figures of a load report by their names on the sockets (BENCH).
-var loadReportFields = map[string]balancer.LoadMetric{"inflight": balancer.MetricInflight, "queue": balancer.MetricQueueLength,
-	"util": balancer.MetricUtilization, "latency_ms": balancer.MetricLatency, "qps": balancer.MetricServedRate,
-	"eps": balancer.MetricErrorRate}
+// loadReportFields are the metrics of a load report by their names in BENCH.
+var loadReportFields = map[string]balancer.LoadMetric{
+	"inflight":   balancer.MetricInflight,
+	"queue":      balancer.MetricQueueLength,
+	"util":       balancer.MetricUtilization,
+	"latency_ms": balancer.MetricLatency,
+	"qps":        balancer.MetricServedRate,
+	"eps":        balancer.MetricErrorRate,
+}
 
-// site makes the settings of the decisions, and checks them under the file's own names.
+// site makes the settings of the decision packages, and validates them under the keys of the file.
 func (k *validator) site(c *Config, subscribe bool) {
-	f, a, ru, s := &c.Fleet, &c.Attempts, &c.Rules, &c.Site
+	s := &c.Site
+	k.fleet(&c.Fleet)
+	k.attemptsAndRules(&c.Attempts, &c.Rules)
+	k.weights(c)
+	s.Zones = c.Fleet.Zones
+	s.Kinds = c.Fleet.Machines
+	s.KeepAlive = c.Fleet.KeepAlive.Duration
+	s.Settings = k.balancerSettings(c, subscribe)
+	k.overload(&c.Overload)
+	k.reports(c)
+	k.classes(c)
+	k.tenants(c)
+	if k.Err() == nil {
+		err := s.Settings.Validate() // the rules between several settings
+		k.Require(err == nil, "", "%v", err)
+	}
+}
+
+func (k *validator) fleet(f *Fleet) {
 	k.Require(f.Instances >= 1, "fleet.instances", "%d: must be at least 1", f.Instances)
 	k.Require(f.Position >= 0 && f.Position < max(1, f.Instances), "fleet.position", "%d: must be in 0..%d",
 		f.Position, f.Instances-1)
-	zone := max(0, slices.Index(f.Zones, f.Zone))
 	k.Require(f.Zone == "" && len(f.Zones) == 0 || slices.Contains(f.Zones, f.Zone), "fleet.zone",
 		"%q is none of fleet.zones", f.Zone)
 	k.Require(len(f.Zones) < 255, "fleet.zones", "at most 254")
@@ -34,6 +56,9 @@
 		f.EndpointProbes)
 	k.Require(f.OverShareWeight >= 0 && f.OverShareWeight <= 1, "fleet.over_share_worth", "%v: must be in 0..1",
 		f.OverShareWeight)
+}
+
+func (k *validator) attemptsAndRules(a *Attempts, ru *Rules) {
 	k.Require(a.MaxAttempts >= 1, "attempts.most", "%d: must be at least 1", a.MaxAttempts)
 	k.Require(a.RetryBudget > 0 && a.RetryBudget <= 10, "attempts.retry_budget",
 		"%v: must be over 0, to 10; attempts.most = 1 is no retries", a.RetryBudget)
@@ -42,32 +67,80 @@
 		ru.WarmupStart)
 	k.Require(ru.FallMultiple > 0, "rules.fall_multiple", "%v: must be positive", ru.FallMultiple)
 	k.Require(ru.PollWithin.Duration > 0, "rules.ask_within", "must be positive")
-	for key, v := range map[string]float64{"prices.cross_zone": c.Prices.CrossZone, "prices.probe": c.Prices.Probe,
-		"prices.waste": c.Prices.Waste, "prices.late_fail": c.Prices.LateFail, "goal.whole": c.Goal.Whole,
-		"goal.worst_window": c.Goal.WorstWindow, "goal.worst_class": c.Goal.WorstClass,
-		"goal.worst_tenant": c.Goal.WorstTenant} {
+}
+
+// weights validates the prices and the weights of the goal.
+func (k *validator) weights(c *Config) {
+	for key, v := range map[string]float64{
+		"prices.cross_zone": c.Prices.CrossZone,
+		"prices.probe":      c.Prices.Probe,
+		"prices.waste":      c.Prices.Waste,
+		"prices.late_fail":  c.Prices.LateFail,
+		"goal.whole":        c.Goal.Whole,
+		"goal.worst_window": c.Goal.WorstWindow,
+		"goal.worst_class":  c.Goal.WorstClass,
+		"goal.worst_tenant": c.Goal.WorstTenant,
+	} {
 		k.Require(v >= 0 && !math.IsInf(v, 0), key, "%v: must not be negative", v)
 	}
-	s.Zones, s.Kinds, s.KeepAlive = f.Zones, f.Machines, f.KeepAlive.Duration
-	s.Settings = balancer.Settings{
-		Balancers: f.Instances, Position: f.Position, Zone: zone, ZoneCount: len(f.Zones),
-		MachineKinds: len(f.Machines),
-		Subscribe:    subscribe, RetryRatio: a.RetryBudget, OverQuotaWeight: f.OverShareWeight,
+}
+
+// balancerSettings returns the balancer's settings, without load reports, classes and tenants.
+func (k *validator) balancerSettings(c *Config, subscribe bool) balancer.Settings {
+	f := &c.Fleet
+	a := &c.Attempts
+	ru := &c.Rules
+	return balancer.Settings{
+		Balancers:       f.Instances,
+		Position:        f.Position,
+		Zone:            max(0, slices.Index(f.Zones, f.Zone)),
+		ZoneCount:       len(f.Zones),
+		MachineKinds:    len(f.Machines),
+		Subscribe:       subscribe,
+		RetryRatio:      a.RetryBudget,
+		OverQuotaWeight: f.OverShareWeight,
 		WeightByWork: stricttoml.Enum(&k.Validation, "fleet.worth_by", f.WeightBy,
 			map[string]bool{"request": false, "work": true}),
-		Limits: balancer.Limits{Cancel: a.Cancel, Probes: c.Probes.On, Hedging: a.HedgedRequests,
-			RetryAfter: c.Rejections.RetryAfter, MaxAttempts: a.MaxAttempts, MaxOpenRequests: c.Requests.MaxOpen,
-			MaxRetryAfter: c.Rejections.MaxRetryAfter.Micros(), DialTimeout: a.DialTimeout.Micros()},
-		Contract: balancer.Contract{DrainGrace: ru.DrainGrace.Micros(), WarmupStartCapacity: ru.WarmupStart, WarmupTime: ru.WarmupDuration.Micros(),
-			CollapseMultiple: ru.FallMultiple, CollapseAfter: ru.FallAfter.Micros(),
-			PollInterval: ru.PollWithin.Micros()},
-		Prices: balancer.Prices{CrossZone: c.Prices.CrossZone, Probe: c.Prices.Probe, Waste: c.Prices.Waste, LateFail: c.Prices.LateFail},
-		Goal: balancer.Goal{Overall: c.Goal.Whole, WorstWindow: c.Goal.WorstWindow, WorstClass: c.Goal.WorstClass,
-			WorstTenant: c.Goal.WorstTenant},
+		Limits: balancer.Limits{
+			Cancel:          a.Cancel,
+			Probes:          c.Probes.On,
+			Hedging:         a.HedgedRequests,
+			RetryAfter:      c.Rejections.RetryAfter,
+			MaxAttempts:     a.MaxAttempts,
+			MaxOpenRequests: c.Requests.MaxOpen,
+			MaxRetryAfter:   c.Rejections.MaxRetryAfter.Micros(),
+			DialTimeout:     a.DialTimeout.Micros(),
+		},
+		Contract: balancer.Contract{
+			DrainGrace:          ru.DrainGrace.Micros(),
+			WarmupStartCapacity: ru.WarmupStart,
+			WarmupTime:          ru.WarmupDuration.Micros(),
+			CollapseMultiple:    ru.FallMultiple,
+			CollapseAfter:       ru.FallAfter.Micros(),
+			PollInterval:        ru.PollWithin.Micros(),
+		},
+		Prices: balancer.Prices{
+			CrossZone: c.Prices.CrossZone,
+			Probe:     c.Prices.Probe,
+			Waste:     c.Prices.Waste,
+			LateFail:  c.Prices.LateFail,
+		},
+		Goal: balancer.Goal{
+			Overall:     c.Goal.Whole,
+			WorstWindow: c.Goal.WorstWindow,
+			WorstClass:  c.Goal.WorstClass,
+			WorstTenant: c.Goal.WorstTenant,
+		},
+		StrictIdempotencyKeys: len(c.Routes) > 0,
 	}
-	s.Settings.StrictIdempotencyKeys = len(c.Routes) > 0
-	o := &c.Overload
-	for key, v := range map[string]float64{"further": o.RetryRatio, "further_sick": o.OverloadedRetryRatio, "probes": o.ProbeRatio} {
+}
+
+func (k *validator) overload(o *Overload) {
+	for key, v := range map[string]float64{
+		"further":      o.RetryRatio,
+		"further_sick": o.OverloadedRetryRatio,
+		"probes":       o.ProbeRatio,
+	} {
 		k.Require(v >= 0 && v <= 10, "overload."+key, "%v: must be in 0..10", v)
 	}
 	k.Require(o.OverloadedRetryRatio <= o.RetryRatio, "overload.further_sick", "%v is over further, %v",
@@ -78,8 +151,10 @@
 		"%v: must be over 0, to 1000000: an endpoint that recovers must be found", o.MinEndpointProbes)
 	k.Require(o.MaxEndpointProbes == 0 || o.MinEndpointProbes <= o.MaxEndpointProbes, "overload.node_least",
 		"%v is over node_probes, %v", o.MinEndpointProbes, o.MaxEndpointProbes)
-	k.reports(c)
-	k.classes(c)
+}
+
+func (k *validator) tenants(c *Config) {
+	s := &c.Site
 	tenants := map[string]bool{}
 	for i, t := range c.Tenants {
 		at := func(key string) string { return fmt.Sprintf("tenant.%d.%s", i, key) }
@@ -96,10 +171,6 @@
 		s.Settings.Tenants = append(s.Settings.Tenants,
 			balancer.Tenant{Name: t.Name, Quota: t.Allowance, Share: t.Share})
 	}
-	if k.Err() == nil {
-		err := s.Settings.Validate() // what it knows and this does not
-		k.Require(err == nil, "", "%v", err)
-	}
 }
 
 // reports reads what endpoints tell of their load.
