--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -57,7 +57,7 @@
 	d := &generation{options: o, config: c, log: o.Log, pools: pools{}}
 	clk := clock.New()
 	if c.Peers.On {
-		clk = clock.NewBootClock() // what is lent ends while the host sleeps, too
+		clk = clock.NewBootClock() // leases end while the host sleeps, too
 	}
 	d.clock = clk
 	n := &c.Connections
@@ -70,8 +70,33 @@
 		Fields:      c.Site.LoadReportFields,
 		OnAnswers:   c.Site.ReportsOnResponses,
 	})
+	if err := d.newCore(); err != nil {
+		return nil, err
+	}
+	for _, conf := range configuredPools(c) {
+		p, err := d.newPool(conf, c.Site.Settings.Subscribe)
+		if err != nil {
+			return nil, err
+		}
+		d.pools[conf.Name] = p
+	}
+	if err := d.newFrontend(); err != nil {
+		return nil, err
+	}
+	d.setRoutes(c)
+	var err error
+	if d.clients, err = newClients(d.front, c); err != nil {
+		return nil, err
+	}
+	return d, d.openAccessLog() // last, since it runs
+}
+
+// newCore makes the core, and joins it to the other instances where the configuration says so.
+func (d *generation) newCore() error {
+	o := &d.options
+	c := d.config
 	conf := core.Config{
-		Clock:       clk,
+		Clock:       d.clock,
 		Site:        &c.Site,
 		Seed:        o.Seed,
 		Concurrency: c.Sharing(),
@@ -81,27 +106,28 @@
 	if path := c.Peers.SpentLog; path != "" {
 		var err error
 		if d.spentLog, err = openSpentLog(path, o.Log); err != nil {
-			return nil, fmt.Errorf("peers.spent: %w", err)
+			return fmt.Errorf("peers.spent: %w", err)
 		}
 		conf.OnQuotaSpent = d.spentLog.record
 	}
 	d.core = core.New(conf)
-	if err := d.joinCoordination(); err != nil {
-		return nil, err
-	}
-	for _, conf := range configuredPools(c) {
-		p, err := d.newPool(conf, c.Site.Settings.Subscribe)
-		if err != nil {
-			return nil, err
-		}
-		d.pools[conf.Name] = p
+	return d.joinCoordination()
+}
+
+// newFrontend makes the frontend, and what it records requests in.
+func (d *generation) newFrontend() error {
+	c := d.config
+	front := http1.Options{
+		Clock:       d.clock,
+		Site:        &c.Site,
+		Core:        d.core,
+		SendAttempt: d.upstreams.SendWhole,
+		Log:         d.log,
+		Limits:      c.RestLimits(),
 	}
-	front := http1.Options{Clock: clk, Site: &c.Site, Core: d.core, SendAttempt: d.upstreams.SendWhole, Log: o.Log,
-		Limits: c.RestLimits()}
 	if p := d.pools[""]; p != nil {
 		front.Pool = p.endpoints
 	}
-	var err error
 	if c.ControlPlane.CanaryEnabled() {
 		d.tally = &canaryTally{}
 		d.tally.setObjectives(c.Site.Settings.Classes, nil)
@@ -109,17 +135,12 @@
 	if c.AccessLog.Dir != "" || d.tally != nil {
 		front.RecordExchange = d.recordExchange
 	}
-	if d.front, err = http1.New(front); err != nil {
-		return nil, err
-	}
-	d.setRoutes(c)
-	if d.clients, err = newClients(d.front, c); err != nil {
-		return nil, err
-	}
-	return d, d.openAccessLog() // last, since it runs
+	var err error
+	d.front, err = http1.New(front)
+	return err
 }
 
-// start starts what runs beside the front: core, pool, watch. end ends it.
+// startBackground starts what runs beside the frontend: core, connections, watches. stopBackground ends it.
 func (d *generation) startBackground() {
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.goroutines.Go(func() { d.core.Run(d.ctx) })
@@ -129,7 +150,7 @@
 	}
 }
 
-// end ends what runs beside the front. It may be called without start.
+// stopBackground ends what runs beside the frontend. It may be called without startBackground.
 func (d *generation) stopBackground() {
 	for _, l := range d.listeners {
 		l.close()
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -90,32 +90,34 @@
 	for name := range conf.Headers {
 		decisive[http.CanonicalHeaderKey(name)] = true
 	}
-	rules := func(class uint8) *upstream.Rules {
-		settings := &c.Site.Settings.Classes[class]
-		x := &upstream.Rules{
-			Unsafe: settings.Idempotency == balancer.NonIdempotent,
-			Hold:   conf.MaxResponseHeld.Bytes,
-			Most:   conf.MaxResponse.Bytes,
-			Idle:   conf.IdleTimeout.Duration,
-			Whole:  conf.TotalTimeout.Duration,
-			Wait:   c.Classes[class].ClientTimeout.Duration,
-		}
-		if r.Deadline.Kind == http1.FromHeader {
-			x.Deadline = r.Deadline.Name
-		}
-		for _, code := range conf.ErrorStatuses {
-			x.Failure[code] = true
-		}
-		for _, code := range conf.RejectionStatuses {
-			x.Full[code] = true
-		}
-		return x
-	}
-	r.SafeRules = rules(r.SafeClass)
-	r.UnsafeRules = rules(r.UnsafeClass)
+	r.SafeRules = upstreamRules(c, conf, r.SafeClass, r.Deadline)
+	r.UnsafeRules = upstreamRules(c, conf, r.UnsafeClass, r.Deadline)
 	return r
 }
 
+// upstreamRules returns how a route's requests of a class are sent, and their responses judged.
+func upstreamRules(c *config.Config, conf *config.Route, class uint8, deadline http1.ValueSource) *upstream.Rules {
+	settings := &c.Site.Settings.Classes[class]
+	x := &upstream.Rules{
+		Unsafe: settings.Idempotency == balancer.NonIdempotent,
+		Hold:   conf.MaxResponseHeld.Bytes,
+		Most:   conf.MaxResponse.Bytes,
+		Idle:   conf.IdleTimeout.Duration,
+		Whole:  conf.TotalTimeout.Duration,
+		Wait:   c.Classes[class].ClientTimeout.Duration,
+	}
+	if deadline.Kind == http1.FromHeader {
+		x.Deadline = deadline.Name
+	}
+	for _, code := range conf.ErrorStatuses {
+		x.Failure[code] = true
+	}
+	for _, code := range conf.RejectionStatuses {
+		x.Full[code] = true
+	}
+	return x
+}
+
 func edits(e *config.HeaderEdits) http1.HeaderEdits {
 	canonical := func(of map[string]string) map[string]string {
 		all := map[string]string{}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -129,24 +129,18 @@
 	cordonsFileMu sync.Mutex  // of the words by hand
 }
 
-// assemble puts a sidecar together without starting it. dial opens connections to endpoints; nil is the usual
-// way.
-func assemble(c *platform.Config, dial func(ctx context.Context, network, addr string) (net.Conn, error),
-	log *slog.Logger) (*sidecar, error) {
+// dialFunc opens a connection to an endpoint.
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// assemble puts a sidecar together without starting it. A nil dial is the usual one.
+func assemble(c *platform.Config, dial dialFunc, log *slog.Logger) (*sidecar, error) {
 	clk := clock.New()
 	s := &sidecar{config: c, clock: clk, log: log}
 	var observe engine.Observer
 	if c.Events != nil {
 		s.events = eventlog.NewLog(c.Events, clk.Now)
 		observe = s.events
-		if dial == nil {
-			dial = (&net.Dialer{Timeout: clock.Duration(c.Site.Settings.Limits.DialTimeout)}).DialContext
-		}
-		inner := dial
-		dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := inner(ctx, network, addr)
-			return s.events.Dialed(addr, conn, err)
-		}
+		dial = s.logDials(dial)
 	}
 	s.pool = upstream.New(upstream.Options{
 		Clock:       clk,
@@ -159,15 +153,7 @@
 		OnAnswers:   c.Site.ReportsOnResponses,
 		Dial:        dial,
 	})
-	w := s.watchDiscovery(c.Discovery, c.Known.Generation)
-	s.firstWatcher = w
-	if c.Site.Settings.Subscribe {
-		s.source = discovery.NewPolledSource(w, func() {
-			s.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
-		})
-	} else {
-		s.source = discovery.NewContinuousSource(w)
-	}
+	s.newSource()
 	var err error
 	s.core = core.New(core.Config{
 		Clock:    clk,
@@ -207,6 +193,30 @@
 	return s, err
 }
 
+// logDials returns a dial whose connections and errors are logged as events; nil is the usual dial.
+func (s *sidecar) logDials(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: clock.Duration(s.config.Site.Settings.Limits.DialTimeout)}).DialContext
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		return s.events.Dialed(addr, conn, err)
+	}
+}
+
+// newSource makes the source of endpoint lists, without starting it.
+func (s *sidecar) newSource() {
+	watcher := s.watchDiscovery(s.config.Discovery, s.config.Known.Generation)
+	s.firstWatcher = watcher
+	if !s.config.Site.Settings.Subscribe {
+		s.source = discovery.NewContinuousSource(watcher)
+		return
+	}
+	s.source = discovery.NewPolledSource(watcher, func() {
+		s.endpoints.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
+	})
+}
+
 // identify says whose a connection is: the application's, the only client there is.
 func (s *sidecar) identify(net.Conn) (*http1.Client, func(), error) { return s.client, nil, nil }
 
