--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -220,7 +220,7 @@
 	}
 	d.reload <- syscall.SIGHUP
 	d.next <- nil
-	if g := d.changed(t, w.config(t, w.roster.Addr, one.Addr, "per_process = true", "per_process = true\nrequests_per_second = 0.001\nburst = 1")); g != d.generation {
+	if g := d.changed(t, w.config(t, w.discovery.Addr, one.Addr, "per_process = true", "per_process = true\nrequests_per_second = 0.001\nburst = 1")); g != d.generation {
 		t.Error("a generation of its own for what can be changed while serving")
 	}
 	// The connection that was open has the new bounds, and only one endpoint serves.
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -91,7 +91,7 @@
 	}
 	drained := w.entry(5)
 	drained.Lifecycle = "draining"
-	w.roster.Set(drained)
+	w.discovery.Set(drained)
 	told := time.Now()
 	w.endpoints[4].Close() // dies; the roster does not know yet
 	gone := w.entry(4)
@@ -100,7 +100,7 @@
 		t.Errorf("the second daemon ended with %v", err)
 	}
 	gone.Lifecycle = "removed"
-	w.roster.Set(gone)
+	w.discovery.Set(gone)
 
 	got := map[string]client.Result{}
 	by := map[client.Verdict]int{}
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -104,8 +104,8 @@
 	k := dial(t, "tcp", addr)
 	silent := scripteddiscovery.New(t)
 	for want, edits := range map[string][]string{
-		"address already in use":     {"[[client]]\nname = \"desk\"", "[[listener]]\nname = \"more\"\naddress = \"" + w.roster.Addr + "\"\nclient = \"desk\"\n[[client]]\nname = \"desk\""},
-		"in time":                    {w.roster.Addr, silent.Addr, "worth = 5.0", "worth = 4.0", `ready_within = "5s"`, `ready_within = "50ms"`},
+		"address already in use":     {"[[client]]\nname = \"desk\"", "[[listener]]\nname = \"more\"\naddress = \"" + w.discovery.Addr + "\"\nclient = \"desk\"\n[[client]]\nname = \"desk\""},
+		"in time":                    {w.discovery.Addr, silent.Addr, "worth = 5.0", "worth = 4.0", `ready_within = "5s"`, `ready_within = "50ms"`},
 		"access record: open /nowhe": {"[connections]", "[connections]\n[record]\ndir = \"" + w.dir + "/record\"\nsecret = \"/nowhere\"\n"},
 	} {
 		if want == "in time" { // it is the one that serves whose time counts
@@ -133,7 +133,7 @@
 	scriptedpeer.Within(t, taken, "attempt")
 	silent := scripteddiscovery.New(t)
 	d.reload <- nil
-	d.next <- w.config(t, "127.0.0.1:0", addr, w.roster.Addr, silent.Addr, "worth = 5.0", "worth = 4.0")
+	d.next <- w.config(t, "127.0.0.1:0", addr, w.discovery.Addr, silent.Addr, "worth = 5.0", "worth = 4.0")
 	scriptedpeer.Within(t, silent.After, "the new generation")
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -46,11 +46,11 @@
 
 // world is a roster and endpoints for a daemon under test.
 type testFleet struct {
-	roster    *discoveryserver.Server
-	ledger    *endpoint.Ledger
-	endpoints []*endpoint.Server
-	steward   *xdsserver.Server // nil without one
-	dir       string
+	discovery    *discoveryserver.Server
+	ledger       *endpoint.Ledger
+	endpoints    []*endpoint.Server
+	controlPlane *xdsserver.Server // nil without one
+	dir          string
 }
 
 // newWorld starts n endpoints of one cell and a roster that lists them as long up.
@@ -70,10 +70,10 @@
 		entries = append(entries, w.entry(i))
 	}
 	var err error
-	if w.roster, err = discoveryserver.Start(entries...); err != nil {
+	if w.discovery, err = discoveryserver.Start(entries...); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(w.roster.Close)
+	t.Cleanup(w.discovery.Close)
 	return w
 }
 
@@ -89,7 +89,7 @@
 [process]
 descriptors = 512
 [discovery]
-address = "` + w.roster.Addr + `"
+address = "` + w.discovery.Addr + `"
 [takeover]
 socket = "` + w.dir + `/takeover.sock"
 ready_within = "5s"
@@ -159,23 +159,23 @@
 // running is a daemon under test, in this process, and its first generation.
 type running struct {
 	*generation
-	process *process
-	stop    context.CancelFunc
-	ended   chan error
-	addrs   map[string]string
-	reload  chan os.Signal
-	next    chan *config.Config  // what is read at a reload; nil is an error
-	told    chan rollout.Command // what became of it
+	process  *process
+	stop     context.CancelFunc
+	ended    chan error
+	addrs    map[string]string
+	reload   chan os.Signal
+	next     chan *config.Config  // what is read at a reload; nil is an error
+	answered chan rollout.Command // what became of it
 }
 
 // launch starts a daemon; serving waits until it accepts.
 func launch(t *testing.T, c *config.Config, log *slog.Logger) (r *running, serving <-chan map[string]string) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	r = &running{stop: stop, ended: make(chan error, 1), reload: make(chan os.Signal, 1), next: make(chan *config.Config, 1), told: make(chan rollout.Command, 16)}
+	r = &running{stop: stop, ended: make(chan error, 1), reload: make(chan os.Signal, 1), next: make(chan *config.Config, 1), answered: make(chan rollout.Command, 16)}
 	up := make(chan map[string]string, 16)
 	r.process = newProcess(ctx, Options{Config: c, Log: log, Reload: r.reload, Seed: 7, Serving: func(a map[string]string) { up <- a },
-		Answered: func(s rollout.Command) { r.told <- s },
+		Answered: func(s rollout.Command) { r.answered <- s },
 		Read: func() (*config.Config, error) {
 			if c := <-r.next; c != nil {
 				return c, nil
@@ -202,7 +202,7 @@
 	t.Helper()
 	r.reload <- syscall.SIGHUP
 	r.next <- c
-	return scriptedpeer.Within(t, r.told, "word of the new file")
+	return scriptedpeer.Within(t, r.answered, "word of the new file")
 }
 
 // changed is change for a file that must be taken; it returns the generation that serves by it.
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -89,7 +89,7 @@
 
 // close releases everything, whatever came before.
 func (l *lifecycle) close() {
-	l.Stop()
+	l.CloseLoop()
 	if l.successorListener != nil {
 		l.successorListener.Close()
 		l.accepting.Wait()
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -35,7 +35,7 @@
 		listener.pause()
 	}
 	if l.successorListener != nil {
-		l.successorListener.Pause(true)
+		l.successorListener.SetPaused(true)
 		l.accepting.Wait()
 	}
 	snapshot := l.core.SnapshotForHandover()
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	toSuccessor, toPredecessor, err := takeover.Pair()
+	toSuccessor, toPredecessor, err := takeover.ConnPair()
 	if err != nil {
 		g.stopBackground()
 		return err
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -155,7 +155,7 @@
 
 // An endpoint that says it is full is passed over, and the last that one said is what the client gets; an unsafe
 // request is not tried again for that.
-func TestWhatEndpointsSay(t *testing.T) {
+func TestLoadReportsOfEndpoints(t *testing.T) {
 	full := http.Header{"Retry-After": {"7"}}
 	for _, tc := range []struct {
 		method string
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -20,7 +20,7 @@
 	}
 	for i, file := range m.Files {
 		if l.offer.Takeover && i == len(m.Files)-1 {
-			listener, err := takeover.FromFile(file)
+			listener, err := takeover.ListenerFromFile(file)
 			if err != nil {
 				l.log.Warn("successor socket not adopted", "error", err)
 				continue
@@ -181,7 +181,7 @@
 
 func (l *lifecycle) acceptSuccessors() {
 	listener := l.successorListener
-	listener.Pause(false)
+	listener.SetPaused(false)
 	l.accepting.Go(func() { l.AcceptSuccessors(l.ctx, listener, answerTimeout) })
 }
 
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -186,7 +186,7 @@
 	k := dial(t, "tcp", d.addrs["desk"])
 	// One more listener, at an address that another process holds.
 	bad := w.config(t, "127.0.0.1:0", c.Listeners[0].Address, "[[client]]\nname = \"desk\"",
-		"[[listener]]\nname = \"more\"\naddress = \""+w.roster.Addr+"\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"")
+		"[[listener]]\nname = \"more\"\naddress = \""+w.discovery.Addr+"\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"")
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
 	if err := Run(ctx, Options{Config: bad, Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), `listener "more"`) {
@@ -451,7 +451,7 @@
 		{"from the future", state(func(s *takeover.State) { s.TakenAt += 3600_000_000 }), true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			w := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			w := &testFleet{discovery: w.discovery, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 			c := w.config(t)
 			var next *running
 			var serving <-chan map[string]string
@@ -519,7 +519,7 @@
 		}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			w := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+			w := &testFleet{discovery: w.discovery, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 			c := w.config(t)
 			var next *running
 			var serving <-chan map[string]string
@@ -574,7 +574,7 @@
 	}
 
 	// SIGTERM to the new one before it serves leaves the old one as it was.
-	w2 := &testFleet{roster: w.roster, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
+	w2 := &testFleet{discovery: w.discovery, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
 	c = w2.config(t, "127.0.0.1:0", freeAddr(t))
 	d = start(t, c)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -607,7 +607,7 @@
 	drained := w.entry(2)
 	warming.StartedMs = time.Now().UnixMilli()
 	drained.Lifecycle = "draining"
-	w.roster.Set(warming, drained)
+	w.discovery.Set(warming, drained)
 	listed := time.Now()
 	next := restart(t, d, c)
 	r := scriptedpeer.Within(t, report, "report")
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -25,7 +25,7 @@
 func (w *testFleet) managed(addr, node string, more ...string) []string {
 	// Aims far beyond what a busy computer makes of these loads: what is worse here is so by what a version says.
 	return []string{"127.0.0.1:0", addr, `aim = "500ms"`, `aim = "2s"`, `give_up = "1s"`, `give_up = "10s"`, "[connections]", strings.NewReplacer(more...).Replace(`[control]
-address = "` + w.steward.Address + `"
+address = "` + w.controlPlane.Address + `"
 node = "` + node + `"
 plaintext = true
 state = "` + w.dir + `/` + node + `"
@@ -39,14 +39,14 @@
 }
 
 // withSteward gives a world a control service.
-func (w *testFleet) withSteward(t *testing.T) *xdsserver.Server {
+func (w *testFleet) withControlPlane(t *testing.T) *xdsserver.Server {
 	t.Helper()
 	var err error
-	if w.steward, err = xdsserver.Start(xdsserver.Options{}); err != nil {
+	if w.controlPlane, err = xdsserver.Start(xdsserver.Options{}); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { w.steward.Close() })
-	return w.steward
+	t.Cleanup(func() { w.controlPlane.Close() })
+	return w.controlPlane
 }
 
 func table(kind string, fields map[string]any) config.Resource {
@@ -54,7 +54,7 @@
 }
 
 // tries is a version with so many attempts a request.
-func tries(n float64) []config.Resource {
+func maxAttemptsResource(n float64) []config.Resource {
 	return []config.Resource{table("attempts", map[string]any{"most": n, "dial_timeout": "1s"})}
 }
 
@@ -107,7 +107,7 @@
 // word, while requests go on.
 func TestVersions(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{Work: map[string]time.Duration{"": time.Millisecond}})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
 	end := steady(t, "desk", addr, 100)
@@ -119,17 +119,17 @@
 		runs    string
 		most    int
 	}{
-		{"a/1", tries(2), nil, "good", "a/1 over file 1", 2},
-		{"a/2", tries(0), nil, "refused: attempts: most: 0: must be at least 1", "a/1 over file 1", 2},
+		{"a/1", maxAttemptsResource(2), nil, "good", "a/1 over file 1", 2},
+		{"a/2", maxAttemptsResource(0), nil, "refused: attempts: most: 0: must be at least 1", "a/1 over file 1", 2},
 		{"a/3", []config.Resource{table("process", nil)}, nil, "refused: process: only the instance's own file", "a/1 over file 1", 2},
-		{"a/4", append(tries(2), config.Resource{Kind: "client", Name: "x", Fields: map[string]any{"requests_per_second": 5.0}}), nil,
+		{"a/4", append(maxAttemptsResource(2), config.Resource{Kind: "client", Name: "x", Fields: map[string]any{"requests_per_second": 5.0}}), nil,
 			"refused: the file: listener.0.client: no client is named \"desk\"", "a/1 over file 1", 2},
-		{"a/5", tries(4), nil, "good", "a/5 over file 1", 4},
-		{"a/1", tries(2), nil, "refused: version a/1 is older than a/5", "a/5 over file 1", 4},
-		{"a/5", tries(3), nil, "refused: version a/5 came with another content", "a/5 over file 1", 4},
-		{"b/1", tries(3), nil, "good", "b/1 over file 1", 3},
-		{"a/9", tries(2), nil, "refused: version a/9: epoch \"a\" was left", "b/1 over file 1", 3},
-		{"a/5", tries(4), map[string]any{"rollback": true, "about": "b is not ready"}, "good", "a/5 over file 1", 4},
+		{"a/5", maxAttemptsResource(4), nil, "good", "a/5 over file 1", 4},
+		{"a/1", maxAttemptsResource(2), nil, "refused: version a/1 is older than a/5", "a/5 over file 1", 4},
+		{"a/5", maxAttemptsResource(3), nil, "refused: version a/5 came with another content", "a/5 over file 1", 4},
+		{"b/1", maxAttemptsResource(3), nil, "good", "b/1 over file 1", 3},
+		{"a/9", maxAttemptsResource(2), nil, "refused: version a/9: epoch \"a\" was left", "b/1 over file 1", 3},
+		{"a/5", maxAttemptsResource(4), map[string]any{"rollback": true, "about": "b is not ready"}, "good", "a/5 over file 1", 4},
 	} {
 		set(t, s, step.version, step.all, step.release)
 		eventually(t, s, step.version, step.say)
@@ -149,15 +149,15 @@
 // A version that is sound and does harm is gone back from by itself, with figures, and stays refused.
 func TestHarmfulVersion(t *testing.T) {
 	w := newWorld(t, 2, endpoint.Options{Work: map[string]time.Duration{"": 5 * time.Millisecond}})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
 	end := steady(t, "desk", addr, 200)
-	set(t, s, "1", tries(2), nil)
+	set(t, s, "1", maxAttemptsResource(2), nil)
 	eventually(t, s, "1", "good")
 	for version, harm := range map[string][]config.Resource{
-		"2": append(tries(2), table("requests", map[string]any{"open": 1.0, "in_flight": 1.0})), // nearly all is turned away
-		"3": append(tries(2), config.Resource{Kind: "client", Name: "desk", Fields: map[string]any{"requests_per_second": 20.0, "burst": 1.0}},
+		"2": append(maxAttemptsResource(2), table("requests", map[string]any{"open": 1.0, "in_flight": 1.0})), // nearly all is turned away
+		"3": append(maxAttemptsResource(2), config.Resource{Kind: "client", Name: "desk", Fields: map[string]any{"requests_per_second": 20.0, "burst": 1.0}},
 			config.Resource{Kind: "client", Name: "each", Fields: map[string]any{"per_process": true}}), // and changed while serving
 	} {
 		set(t, s, version, harm, nil)
@@ -169,7 +169,7 @@
 			t.Errorf("%s runs", runs)
 		}
 	}
-	set(t, s, "4", tries(3), nil)
+	set(t, s, "4", maxAttemptsResource(3), nil)
 	eventually(t, s, "4", "good")
 	r := end()
 	if got := float64(r.By[client.Served]) / float64(r.Asked); got < 0.6 || r.By[client.Failed] > 0 {
@@ -182,14 +182,14 @@
 // over, and the file serves alone.
 func TestStartsWithTheLastKnownGood(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	edits := w.managed(addr, "i-1")
 	state := filepath.Join(w.dir, "i-1")
 	d := start(t, w.config(t, edits...))
 	for n := range 2 {
 		info := fmt.Sprint(n + 1)
-		set(t, s, info, tries(float64(n+4)), nil)
+		set(t, s, info, maxAttemptsResource(float64(n+4)), nil)
 		eventually(t, s, info, "good")
 	}
 	stop := func(d *running) {
@@ -216,7 +216,7 @@
 	begins("another file", "2 over file 1", 5, append(edits, "worth = 5.0", "worth = 4.0")...)
 	begins("a file that pins it", "2 over file 1", 3, append(w.managed(addr, "i-1", "gap =", "pin = [\"listener\", \"attempts\"]\ngap ="),
 		"[attempts]", "[attempts]\nmost = 3")...)
-	begins("without a service", "file 1", 3, append(w.managed(addr, "i-1", w.steward.Address, "", "plaintext = true", ""), "[attempts]", "[attempts]\nmost = 3")...)
+	begins("without a service", "file 1", 3, append(w.managed(addr, "i-1", w.controlPlane.Address, "", "plaintext = true", ""), "[attempts]", "[attempts]\nmost = 3")...)
 	if err := os.Truncate(filepath.Join(state, "state"), 60); err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +237,7 @@
 // What cannot be written down is applied all the same, and written down once there is room.
 func TestVersionsOnAFullDisk(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	d := start(t, w.config(t, w.managed(freeAddr(t), "i-1")...))
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
 	state := filepath.Join(w.dir, "i-1")
@@ -248,7 +248,7 @@
 	if err := os.Mkdir(state+"/state", 0o700); err != nil { // nothing can take its place
 		t.Fatal(err)
 	}
-	set(t, s, "1", tries(2), nil)
+	set(t, s, "1", maxAttemptsResource(2), nil)
 	eventually(t, s, "1", "good")
 	if runs, _ := d.runs(t); runs != "1 over file 1" {
 		t.Errorf("%s runs", runs)
@@ -268,21 +268,21 @@
 // comes during a trial waits, and the newest of several goes on.
 func TestVersionsAtTheWrongTime(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
 	k := connectAsSuccessor(t, w.dir+"/takeover.sock")
 	k.expect(decide.Offer)
-	set(t, s, "1", tries(2), nil)
-	set(t, s, "2", tries(3), nil)
+	set(t, s, "1", maxAttemptsResource(2), nil)
+	set(t, s, "2", maxAttemptsResource(3), nil)
 	if runs, _ := d.runs(t); runs != "file 1" {
 		t.Errorf("during a takeover %s runs", runs)
 	}
 	k.Close()
 	eventually(t, s, "2", "trial")
-	set(t, s, "3", tries(4), nil)
-	set(t, s, "4", tries(5), nil)
+	set(t, s, "3", maxAttemptsResource(4), nil)
+	set(t, s, "4", maxAttemptsResource(5), nil)
 	if runs, _ := d.runs(t); runs != "2 over file 1" {
 		t.Errorf("during a trial %s runs", runs)
 	}
@@ -308,7 +308,7 @@
 	}
 	scriptedpeer.Within(t, taken, "attempt")
 	next.stop()
-	set(t, s, "5", tries(2), nil)
+	set(t, s, "5", maxAttemptsResource(2), nil)
 	close(hold)
 	if resp, _ := open.answer(t); resp.StatusCode != 200 {
 		t.Error(resp.Status)
@@ -328,14 +328,14 @@
 // is refused.
 func TestKilledOnTrial(t *testing.T) {
 	w := newWorld(t, 1, endpoint.Options{})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	edits := w.managed(addr, "i-1", `trial = "1s"`, `trial = "1h"`)
 	for n := range 2 {
 		p := spawn(t, "daemon", w.file(edits...))
 		scriptedpeer.Within(t, p.lines, "a daemon that serves")
 		if n == 0 {
-			set(t, s, "1", tries(2), nil)
+			set(t, s, "1", maxAttemptsResource(2), nil)
 		}
 		scriptedpeer.Eventually(t, "a trial", func() bool { return len(s.Answers("", "1")) == n+1 })
 		if err := p.Process.Kill(); err != nil {
@@ -349,7 +349,7 @@
 	if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Error(resp.Status)
 	}
-	set(t, s, "2", tries(3), nil)
+	set(t, s, "2", maxAttemptsResource(3), nil)
 	eventually(t, s, "2", "trial")
 }
 
@@ -362,7 +362,7 @@
 // runFleet has twenty instances serve while a control service sends versions, wave by wave, or none.
 func runFleet(t *testing.T, changes func(w *testFleet, s *xdsserver.Server, nodes []string)) fleet {
 	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
-	s := w.withSteward(t)
+	s := w.withControlPlane(t)
 	var nodes []string
 	var all []*running
 	var ends []func() client.Report
@@ -399,11 +399,11 @@
 		all    []config.Resource
 		reason string
 	}{
-		{tries(-1), "refused: attempts: most: -1: must be at least 1"},
+		{maxAttemptsResource(-1), "refused: attempts: most: -1: must be at least 1"},
 		{[]config.Resource{{Kind: "class", Name: "look", Fields: map[string]any{"repeat": "safe", "aim": "2s", "give_up": "1s"}}}, "refused: class/look: give_up: 1s is under aim, 2s"},
-		{append(tries(3), config.Resource{Kind: "tenant", Name: "acme", Fields: map[string]any{"alowance": 1.0}}), "refused: tenant/acme: alowance: is not a known key"},
+		{append(maxAttemptsResource(3), config.Resource{Kind: "tenant", Name: "acme", Fields: map[string]any{"alowance": 1.0}}), "refused: tenant/acme: alowance: is not a known key"},
 	}
-	harm := append(tries(3), table("requests", map[string]any{"open": 1.0, "in_flight": 1.0}), config.Resource{Kind: "client", Name: "each", Fields: map[string]any{"per_process": true}},
+	harm := append(maxAttemptsResource(3), table("requests", map[string]any{"open": 1.0, "in_flight": 1.0}), config.Resource{Kind: "client", Name: "each", Fields: map[string]any{"per_process": true}},
 		config.Resource{Kind: "client", Name: "desk", Fields: map[string]any{"requests_per_second": 2.0, "burst": 1.0}})
 	order := []string{"good", "broken", "good", "harmful", "broken", "good", "broken"}
 	rand.New(rand.NewPCG(5, 5)).Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
@@ -432,7 +432,7 @@
 			info := fmt.Sprint("e/", n+1)
 			switch kind {
 			case "good":
-				set(t, s, info, tries(float64(2+n%3)), nil)
+				set(t, s, info, maxAttemptsResource(float64(2+n%3)), nil)
 				said(info, "good", nodes)
 			case "broken":
 				set(t, s, info, broken[bad].all, nil)
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -25,7 +25,7 @@
 	wrong []string
 }
 
-func (w *witness) say(format string, args ...any) {
+func (w *witness) logf(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wrong = append(w.wrong, fmt.Sprintf(format, args...))
@@ -98,15 +98,15 @@
 		for i, id := range ids {
 			resp, err := http.ReadResponse(in, nil)
 			if err != nil {
-				w.say("%s, number %d of %d: no answer: %v", id, i, len(ids), err)
+				w.logf("%s, number %d of %d: no answer: %v", id, i, len(ids), err)
 				return
 			}
 			body, err := io.ReadAll(resp.Body)
 			if err != nil || resp.StatusCode == 200 && string(body) != id {
-				w.say("%s was answered %s with %q, %v", id, resp.Status, body, err)
+				w.logf("%s was answered %s with %q, %v", id, resp.Status, body, err)
 			}
 			if resp.Close && i < len(ids)-1 {
-				w.say("%s: closed with %d requests behind it", id, len(ids)-1-i)
+				w.logf("%s: closed with %d requests behind it", id, len(ids)-1-i)
 				return
 			}
 		}
@@ -134,7 +134,7 @@
 	s.stop()
 	last.Wait()
 	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
-		w.say("ended with %v", err)
+		w.logf("ended with %v", err)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -94,7 +94,7 @@
 }
 
 func (l *lifecycle) close() {
-	l.Stop()
+	l.CloseLoop()
 	if l.successorListener != nil {
 		l.successorListener.Close()
 	}
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -69,7 +69,7 @@
 	}
 	l.earlyConns = nil
 	if path := l.socketPath(); path != "" {
-		listener, err := takeover.Replace(path)
+		listener, err := takeover.ListenReplacing(path)
 		l.successorListener = listener
 		if err != nil {
 			log.Error("hot restart socket not available", "error", err)
--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -53,8 +53,8 @@
 	return &Conn{unixConn: c}, nil
 }
 
-// Pair returns both ends of a connection between a predecessor and a successor in one process.
-func Pair() (predecessor, successor *Conn, err error) {
+// ConnPair returns both ends of a connection between a predecessor and a successor in one process.
+func ConnPair() (predecessor, successor *Conn, err error) {
 	const kind = syscall.SOCK_SEQPACKET | syscall.SOCK_CLOEXEC | syscall.SOCK_NONBLOCK
 	fds, err := syscall.Socketpair(syscall.AF_UNIX, kind, 0)
 	if err != nil {
@@ -121,9 +121,9 @@
 	return os.Remove(path)
 }
 
-// Replace listens for successors at a path in place of the process that listens there, atomically. The path
+// ListenReplacing listens for successors at a path in place of the process that listens there, atomically. The path
 // stays when the listener is closed, since it may be the next process's by then.
-func Replace(path string) (*Listener, error) {
+func ListenReplacing(path string) (*Listener, error) {
 	own := fmt.Sprintf("%s.%d", path, os.Getpid())
 	os.Remove(own) // left by a process that had our number
 	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: own, Net: "unixpacket"})
@@ -142,8 +142,8 @@
 	return &Listener{ln}, nil
 }
 
-// FromFile returns the listener of an inherited socket. The file may be closed afterwards.
-func FromFile(f *os.File) (*Listener, error) {
+// ListenerFromFile returns the listener of an inherited socket. The file may be closed afterwards.
+func ListenerFromFile(f *os.File) (*Listener, error) {
 	ln, err := net.FileListener(f)
 	if err != nil {
 		return nil, err
@@ -165,8 +165,8 @@
 // KeepPath sets whether the socket's path stays when it is closed: another process may listen on it.
 func (l *Listener) KeepPath(yes bool) { l.socket.SetUnlinkOnClose(!yes) }
 
-// Pause makes Accept return os.ErrDeadlineExceeded, or ends that. Processes that connect meanwhile wait.
-func (l *Listener) Pause(yes bool) { l.socket.SetDeadline(pauseDeadline(yes)) }
+// SetPaused makes Accept return os.ErrDeadlineExceeded, or ends that. Processes that connect meanwhile wait.
+func (l *Listener) SetPaused(yes bool) { l.socket.SetDeadline(pauseDeadline(yes)) }
 
 func pauseDeadline(yes bool) time.Time {
 	if yes {
--- a/internal/takeover/golden_test.go
+++ b/internal/takeover/golden_test.go
@@ -137,7 +137,7 @@
 
 func pair(t *testing.T) (sender, receiver *Conn) {
 	t.Helper()
-	sender, receiver, err := Pair()
+	sender, receiver, err := ConnPair()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/takeover/lifecycle.go
+++ b/internal/takeover/lifecycle.go
@@ -63,8 +63,8 @@
 // Result returns what the process ended with.
 func (l *Lifecycle) Result() error { return l.result }
 
-// Stop closes the loop: no event is taken any more. It cancels what is waited for.
-func (l *Lifecycle) Stop() {
+// CloseLoop closes the loop: no event is taken any more. It cancels what is waited for.
+func (l *Lifecycle) CloseLoop() {
 	l.Loop.Close()
 	l.CancelWait()
 }
