--- a/internal/configcache/cache_test.go
+++ b/internal/configcache/cache_test.go
@@ -57,9 +57,9 @@
 	return d
 }
 
-func (d *Cache) mustLastKnownGood(t *testing.T) uint64 {
+func (c *Cache) mustLastKnownGood(t *testing.T) uint64 {
 	t.Helper()
-	k, _, err := d.Load()
+	k, _, err := c.Load()
 	if err != nil || k == nil {
 		t.Fatalf("%v, %v", k, err)
 	}
@@ -115,7 +115,9 @@
 	if err := d.Save(newState(5, 4), newContents(5, 4)); err != nil {
 		t.Fatal(err)
 	}
-	os.WriteFile(filepath.Join(d.path, stateFile), nil, 0o600)
+	if err := os.WriteFile(filepath.Join(d.path, stateFile), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
 	if k, _, _ := d.Load(); k.LastKnownGood.ControlPlane.Number != 3 {
 		t.Errorf("before: %d", k.LastKnownGood.ControlPlane.Number)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -171,7 +171,7 @@
 }
 
 // call returns a call whose attempts wait for release.
-func (p *Pool) call(t *testing.T, client *engine.Client, id string, release <-chan struct{}) *Call {
+func (p *Pool) call(client *engine.Client, id string, release <-chan struct{}) *Call {
 	now := p.core.config.Clock.Now()
 	return &Call{Client: client, Pool: p, ArrivedAt: now, ID: id,
 		Response: make(chan engine.Response, 1), Request: balancer.Request{Deadline: now + 1_000_000},
@@ -195,7 +195,7 @@
 		t.Fatal(err)
 	}
 	release := make(chan struct{})
-	a, b := first.call(t, client, "1", release), second.call(t, client, "2", release)
+	a, b := first.call(client, "1", release), second.call(client, "2", release)
 	x.Submit(a)
 	x.Submit(b)
 	x.sync(t)
@@ -207,7 +207,7 @@
 		t.Errorf("snapshot %+v", s)
 	}
 	second.Close()
-	late := second.call(t, client, "3", release)
+	late := second.call(client, "3", release)
 	x.Submit(late)
 	if got := scriptedpeer.Within(t, late.Response, "answer of a closed pool"); got.Verdict != engine.Rejected {
 		t.Errorf("a closed pool took a request: %+v", got)
@@ -245,7 +245,7 @@
 	}
 	release := make(chan struct{})
 	ended := make(chan bool, 1)
-	c := p.call(t, client, "1", nil)
+	c := p.call(client, "1", nil)
 	c.Request.Deadline = c.ArrivedAt + 50_000
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
@@ -292,7 +292,7 @@
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
-	c := p.call(t, client, "1", nil)
+	c := p.call(client, "1", nil)
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		now := x.config.Clock.Now()
 		started := engine.AttemptResult{Status: balancer.OK, ObservedAt: now}
@@ -320,7 +320,7 @@
 	}
 	for _, notReplayable := range []bool{true, false} {
 		attempts := make(chan struct{}, 10)
-		c := p.call(t, client, "1", nil)
+		c := p.call(client, "1", nil)
 		c.NotReplayable = func() bool { return notReplayable }
 		c.Attempt = func(_ context.Context, attempt *AttemptContext) engine.AttemptResult {
 			attempt.ClaimSend(x.config.Clock.Now())
@@ -349,7 +349,7 @@
 	var ended atomic.Bool
 	out, over := make(chan struct{}), make(chan struct{})
 	defer close(over)
-	c := p.call(t, client, "1", nil)
+	c := p.call(client, "1", nil)
 	c.Request.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		if attempt.OnAbort(func() { ended.Store(true) }) && attempt.ClaimSend(x.config.Clock.Now()) {
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -94,7 +94,7 @@
 		x.cancel()
 		<-x.done
 		if x.file != nil {
-			x.file.Close()
+			_ = x.file.Close() // each entry was synced before it was acknowledged
 		}
 		d.consensus = nil
 		if !x.applied.AwaitingPlan {
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -329,7 +329,7 @@
 		o.OnDone = func(r client.Result) {
 			mu.Lock()
 			defer mu.Unlock()
-			out.Encode(r)
+			_ = out.Encode(r) // the test that reads it may be over
 		}
 		client.New(o).Run(ctx)
 	case "talker": // writes a text to a connection and then neither reads nor writes
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -99,7 +99,7 @@
 	}
 	l.accepting = true
 	l.setDeadline(time.Time{})
-	l.acceptLoop.Go(func() { f.Accept(l.socket, l.identify) })
+	l.acceptLoop.Go(func() { _ = f.Accept(l.socket, l.identify) })
 }
 
 // pause ends accept. Who connects from then on waits in the socket's queue.
@@ -111,7 +111,7 @@
 
 func (l *listener) setDeadline(t time.Time) {
 	if s, ok := l.socket.(interface{ SetDeadline(time.Time) error }); ok {
-		s.SetDeadline(t)
+		_ = s.SetDeadline(t) // it fails on a closed listener only
 	}
 }
 
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -88,13 +88,11 @@
 	return p.result
 }
 
-// post hands an event to run, and reports whether it may be handled: after the end of run none is.
-func (p *process) post(event func()) bool {
+// post hands an event to run. After the end of run it is dropped.
+func (p *process) post(event func()) {
 	select {
 	case p.events <- event:
-		return true
 	case <-p.closed:
-		return false
 	}
 }
 
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -146,7 +146,7 @@
 	reason := ""
 	if err != nil {
 		reason = err.Error()
-		p.prepareProcess(p.serving.options.Config) // as it was before
+		_ = p.prepareProcess(p.serving.options.Config) // as it was before
 	}
 	done := p.appliedStep
 	p.appliedStep = nil
--- a/internal/daemon/spentlog.go
+++ b/internal/daemon/spentlog.go
@@ -32,7 +32,7 @@
 		defer f.Close()
 		w := bufio.NewWriter(f)
 		for line := range s.lines {
-			w.WriteString(line)
+			_, _ = w.WriteString(line)                // its error comes again with Flush
 			if len(s.lines) > 0 || w.Flush() == nil { // what a process that is killed has spent is to be known
 				continue
 			}
@@ -43,7 +43,9 @@
 			}
 			return
 		}
-		w.Flush()
+		if err := w.Flush(); err != nil {
+			log.Error("peers.spent is not kept any more", "file", path, "error", err)
+		}
 	}()
 	return s, nil
 }
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -644,7 +644,9 @@
 		if err := syscall.Bind(fd, &syscall.SockaddrUnix{Name: w.dir + path}); err != nil {
 			t.Fatal(err)
 		}
-		syscall.Close(fd)
+		if err := syscall.Close(fd); err != nil {
+			t.Fatal(err)
+		}
 	}
 	d := start(t, c)
 	d.stillServes(t)
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -19,15 +19,15 @@
 )
 
 // settled waits until nothing is open any more.
-func (d *running) settled(t *testing.T) {
+func (r *running) settled(t *testing.T) {
 	t.Helper()
 	scriptedpeer.Eventually(t, "nothing open", func() bool {
-		for _, p := range d.pools {
+		for _, p := range r.pools {
 			if counts := p.endpoints.Counts(); counts.Queued+counts.InFlight+counts.OpenCalls > 0 {
 				return false
 			}
 		}
-		for _, h := range d.clients.usage() {
+		for _, h := range r.clients.usage() {
 			if h.Open != 0 || h.Bytes != 0 {
 				return false
 			}
--- a/internal/engine/coordination_test.go
+++ b/internal/engine/coordination_test.go
@@ -15,7 +15,7 @@
 func TestTenantLimitIsDividedStatically(t *testing.T) {
 	for position, want := range []int{4, 3, 3} {
 		x, p, h := newEngine(t, tenantSite(10, 3, position), nil, nil)
-		now := monotime.Micros(5 * monotime.Second)
+		now := 5 * monotime.Second
 		advanceTo(x, now)
 		admitted := 0
 		for i := range 8 {
@@ -43,7 +43,7 @@
 // A tenant's quota is spent, and what is handed over is spent by the successor only.
 func TestTenantQuotaIsSpentAndHandedOver(t *testing.T) {
 	x, p, h := newEngine(t, tenantSite(10, 1, 0), &CoordinationScope{TenantLimits: true}, nil)
-	now := monotime.Micros(20 * monotime.Second)
+	now := 20 * monotime.Second
 	advanceTo(x, now)
 	for i := range 6 {
 		submit(t, x, p, now, fmt.Sprint(i), 0)
@@ -75,7 +75,7 @@
 // as they say so.
 func TestSuspectedEndpointIsAvoidedForItsClass(t *testing.T) {
 	x, p, h := newEngine(t, tenantSite(0, 100, 0), &CoordinationScope{SuspectedEndpoints: true}, nil)
-	now := monotime.Micros(5 * monotime.Second)
+	now := 5 * monotime.Second
 	x.HandOverCoordination(now) // it gets no observations but this test's
 	advanceTo(x, now)
 	count := func(class uint8) (part float64) {
@@ -149,7 +149,7 @@
 			o := overload.DefaultSettings()
 			o.Instances = 1
 			x, p, h := newEngine(b, tenantSite(0, 1, 0), c.scope, &o)
-			now := monotime.Micros(5 * monotime.Second)
+			now := 5 * monotime.Second
 			advanceTo(x, now)
 			for b.Loop() {
 				submit(b, x, p, now, "x", 1)
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -133,6 +133,6 @@
 		return
 	}
 	for _, conn := range conns {
-		conn.Write(takeover.Message{Kind: takeover.Cordons, Payload: encoded})
+		_ = conn.Write(takeover.Message{Kind: takeover.Cordons, Payload: encoded})
 	}
 }
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -129,7 +129,7 @@
 		}
 	}
 	l.Successor.ServeAlone()
-	l.StartAlone()
+	_ = l.StartAlone() // it has no error to return
 }
 
 // ---- Stopping ----------------------------------------------------------------
@@ -191,6 +191,6 @@
 
 func (l *lifecycle) setDeadline(t time.Time) {
 	if listener, ok := l.listener.(interface{ SetDeadline(time.Time) error }); ok {
-		listener.SetDeadline(t)
+		_ = listener.SetDeadline(t) // it fails on a closed listener only
 	}
 }
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -31,7 +31,9 @@
 
 // echo answers with the body as it comes, in chunks where it came so.
 func echo(w http.ResponseWriter, r *http.Request) {
-	http.NewResponseController(w).EnableFullDuplex()
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		panic(err) // HTTP/1.1 of net/http has it
+	}
 	if r.ContentLength >= 0 {
 		w.Header().Set("Content-Length", fmt.Sprint(r.ContentLength))
 	}
@@ -187,11 +189,11 @@
 	seen, tries := make(chan struct{}), atomic.Int32{}
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		tries.Add(1)
-		flush := http.NewResponseController(w).Flush
+		controller := http.NewResponseController(w)
 		if r.URL.Path == "/look/large" {
 			w.Header().Set("Content-Length", fmt.Sprint(128<<10))
 			w.Write(pattern(1 << 10))
-			flush()
+			controller.Flush()
 			<-seen
 			w.Write(pattern(127 << 10))
 			return
@@ -199,7 +201,7 @@
 		w.Header().Set("Content-Length", "1024")
 		for range 16 { // 400 ms in all; a silent one is given up after 50
 			w.Write(pattern(64))
-			flush()
+			controller.Flush()
 			time.Sleep(25 * time.Millisecond)
 		}
 	}
--- a/internal/takeover/conn.go
+++ b/internal/takeover/conn.go
@@ -67,7 +67,7 @@
 		f.Close()
 		if err != nil {
 			if i == 0 {
-				syscall.Close(fds[1])
+				_ = syscall.Close(fds[1]) // given up
 			} else {
 				ends[0].Close()
 			}
--- a/internal/takeover/loop.go
+++ b/internal/takeover/loop.go
@@ -113,6 +113,6 @@
 
 // Reject rejects a process that has connected, and closes the connection.
 func (c *Conn) Reject(reason string) {
-	c.Write(Message{Kind: decide.Rejected, Payload: []byte(reason)})
+	_ = c.Write(Message{Kind: decide.Rejected, Payload: []byte(reason)})
 	c.Close()
 }
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -78,13 +78,13 @@
 	if step.Message == decide.Hello {
 		m = HelloMessage()
 	}
-	l.PredecessorConn.Write(m)
+	_ = l.PredecessorConn.Write(m)
 }
 
 // startWithOffer starts the host, and steps the successor's machine once requests could be served.
 func (l *Lifecycle) startWithOffer() {
 	if err := l.host.StartWithOffer(); err != nil {
-		l.PredecessorConn.Write(Message{Kind: decide.Rejected, Payload: []byte(err.Error())})
+		_ = l.PredecessorConn.Write(Message{Kind: decide.Rejected, Payload: []byte(err.Error())})
 		l.End(err)
 		return
 	}
