--- a/internal/experiment/agree.go
+++ b/internal/experiment/agree.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	for seed := range seeds {
-		got, err := processes.Run(ctx, processes.Options{Plan: s.Draw(uint64(1 + seed)), Settings: v.Settings, Judge: judge(judged), Daemon: daemon, Log: log})
+		got, err := processes.Run(ctx, processes.Options{Plan: s.Draw(uint64(1 + seed)), Settings: v.Settings, Criteria: judge(judged), Daemon: daemon, Log: log})
 		if err != nil {
 			return nil, fmt.Errorf("seed %d, for real: %w", 1+seed, err)
 		}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -36,7 +36,7 @@
 	}
 	var log lines
 	plan := s.Draw(seed)
-	result, err := processes.Run(ctx, processes.Options{Plan: plan, Settings: v.Settings, Judge: judge(own), Daemon: program, Beside: beside, Log: &log})
+	result, err := processes.Run(ctx, processes.Options{Plan: plan, Settings: v.Settings, Criteria: judge(own), Daemon: program, AlternateDaemon: beside, Log: &log})
 	if err != nil {
 		return nil, fmt.Errorf("%s, seed %d: %w; logged last:\n%s", s.Name, seed, err, log.last(errorLines))
 	}
--- a/internal/experiment/processes/gate_test.go
+++ b/internal/experiment/processes/gate_test.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-func timedOut(err error) bool {
+func isTimeout(err error) bool {
 	var e net.Error
 	return errors.As(err, &e) && e.Timeout()
 }
 
 // Who connects to a silent gate hears nothing, neither yes nor no; before and after that it is let in, and nobody but who
 // connects is.
-func TestGate(t *testing.T) {
-	g, err := newGate("127.0.0.1:0")
+func TestSilencedListenerTimesOutConnections(t *testing.T) {
+	g, err := newSilenceableListener("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,27 +52,27 @@
 	}
 	for range 3 {
 		enter()
-		if err := g.silence(true); err != nil {
+		if err := g.setSilent(true); err != nil {
 			t.Fatal(err)
 		}
 		for range 3 {
-			if _, err := dial(50 * time.Millisecond); !timedOut(err) {
+			if _, err := dial(50 * time.Millisecond); !isTimeout(err) {
 				t.Fatalf("dialled a silent gate: %v", err)
 			}
 		}
-		if err := g.silence(false); err != nil {
+		if err := g.setSilent(false); err != nil {
 			t.Fatal(err)
 		}
 		enter()
 	}
-	if err := g.silence(true); err != nil {
+	if err := g.setSilent(true); err != nil {
 		t.Fatal(err)
 	}
 	if err := g.Close(); err != nil {
 		t.Error(err)
 	}
 	<-ended
-	if _, err := dial(time.Second); err == nil || timedOut(err) {
+	if _, err := dial(time.Second); err == nil || isTimeout(err) {
 		t.Errorf("a closed gate: %v", err)
 	}
 }
--- a/internal/experiment/processes/live.go
+++ b/internal/experiment/processes/live.go
@@ -42,87 +42,87 @@
 
 // Options say what is played.
 type Options struct {
-	Plan     *scenario.Plan
-	Settings []byte // a daemon's file; its listeners, clients, discovery and fleet are filled in
-	Judge    measure.Criteria
-	Daemon   string    // the program: dunlinsaild, or dunlinsail, the platform's sidecar
-	Beside   string    // another program that every other instance is, without what it may not know; "" is none
-	Log      io.Writer // of the daemons; nil is nowhere
+	Plan            *scenario.Plan
+	Settings        []byte // a daemon's file; its listeners, clients, discovery and fleet are filled in
+	Criteria        measure.Criteria
+	Daemon          string    // the program: dunlinsaild, or dunlinsail, the platform's sidecar
+	AlternateDaemon string    // another program that every other instance is, without what it may not know; "" is none
+	Log             io.Writer // of the daemons; nil is nowhere
 }
 
 // counts are what endpoints count.
-type counts struct{ attempts, cross, dials, probes, falls, twice, clientsTwice, late int64 }
+type counts struct{ attempts, crossZone, dials, probes, collapses, duplicateEffects, clientDuplicateEffects, unanswered int64 }
 
 // run is one that is under way.
 type run struct {
-	o       Options
-	plan    *scenario.Plan
-	site    *siteconfig.Site
-	habits  simclient.Behavior
-	dir     string
-	base    time.Time
-	offset  atomic.Int64 // microseconds from base to the run's beginning
-	classOf []int        // place among the judge's classes of each of the plan's
-	tenant  []int
-	own     *config.Config
+	options        Options
+	plan           *scenario.Plan
+	site           *siteconfig.Site
+	clientBehavior simclient.Behavior
+	workDir        string
+	base           time.Time
+	offset         atomic.Int64 // microseconds from base to the run's beginning
+	criteriaClass  []int        // place among the judge's classes of each of the plan's
+	criteriaTenant []int
+	config         *config.Config
 
-	endpoints []*endpoint
-	instances []*instance
-	peers     []string // addresses at which instances know one another; none where they do not
-	relays    []*relay
-	work      *labour
-	groups    map[int]*group
-	reports   *rand.Rand // guarded by each endpoint's lock only: any draw will do
+	endpoints   []*endpoint
+	instances   []*instance
+	peerAddrs   []string // addresses at which instances know one another; none where they do not
+	relays      []*relay
+	maintenance *maintenanceRun
+	groups      map[int]*group
+	reportRand  *rand.Rand // guarded by each endpoint's lock only: any draw will do
 
-	mu      sync.Mutex
-	counts  counts
-	cuts    [][2]int
-	stale   monotime.Micros
-	noise   *randstream.Stream
-	luck    *randstream.Stream
-	callers *randstream.Stream
-	draws   *randstream.Stream
-	changes uint64
-	last    []monotime.Micros
-	stories map[uint64]*story
-	meter   *measure.Meter
-	open    sync.WaitGroup
-	fail    context.CancelCauseFunc // ends the run with an error
+	mu               sync.Mutex
+	counts           counts
+	cuts             [][2]int
+	discoveryDelay   monotime.Micros
+	workNoise        *randstream.Stream
+	outcomeRand      *randstream.Stream
+	clientRand       *randstream.Stream
+	discoveryRand    *randstream.Stream
+	discoveryChanges uint64
+	lastAnnounced    []monotime.Micros
+	operations       map[uint64]*operation
+	meter            *measure.Meter
+	openOperations   sync.WaitGroup
+	fail             context.CancelCauseFunc // ends the run with an error
 }
 
 // instance is a daemon's process.
 type instance struct {
-	n int
+	index int
 
-	mu     sync.Mutex // guards the process
-	cmd    *exec.Cmd
-	ended  chan struct{} // closed once the process has
-	killed *atomic.Bool  // by us
-	former []former
+	mu           sync.Mutex // guards the process
+	cmd          *exec.Cmd
+	ended        chan struct{} // closed once the process has
+	killed       *atomic.Bool  // by us
+	predecessors []predecessor
 
-	thawed atomic.Int64 // microseconds of the run until which it was stopped last; in the future while it is
+	suspendedUntil atomic.Int64 // microseconds of the run until which it was stopped last; in the future while it is
 
-	roster *discoveryserver.Server
-	addrs  []string // of its listeners, one for each client process
-	asks   []*http.Client
-	config string
-	calls  string // where operators call; "" is nowhere
+	discovery   *discoveryserver.Server
+	listenAddrs []string // of its listeners, one for each client process
+	httpClients []*http.Client
+	configPath  string
+	adminAddr   string // where operators call; "" is nowhere
 }
 
 // lateMost is how long after its client's time an answer may come and not be missed, in microseconds: what the machine's
 // schedulers add is not the daemon's.
-const lateMost = 50_000
+const answerTolerance = 50_000
 
 // now is the instant of the run.
 func (r *run) now() monotime.Micros { return time.Since(r.base).Microseconds() - r.offset.Load() }
 
 // coarse is how late a timer of Go's may ring where nothing else goes on: its poller counts in milliseconds.
-const coarse = 1200 * time.Microsecond
+const timerGranularity = 1200 * time.Microsecond
 
 // sleep waits until an instant, more exactly than time.Sleep: what this rig is late must not be taken for the daemon's.
-func sleep(until time.Time) {
-	if d := time.Until(until); d > coarse {
-		time.Sleep(d - coarse)
+func sleepUntil(until time.Time) {
+	if d := time.Until(until); d > timerGranularity {
+		time.Sleep(d - timerGranularity)
 	}
 	if d := time.Until(until); d > 0 {
 		t := syscall.NsecToTimespec(d.Nanoseconds())
@@ -131,18 +131,18 @@
 }
 
 // time is when an instant of the run is.
-func (r *run) time(at monotime.Micros) time.Time {
+func (r *run) wallTime(at monotime.Micros) time.Time {
 	return r.base.Add(time.Duration(at+r.offset.Load()) * time.Microsecond)
 }
 
 // arrived notes what came at an endpoint. The caller counts: it holds mu.
-func (r *run) arrived(node int, what measure.Arrival) {
+func (r *run) recordArrival(node int, what measure.Arrival) {
 	if r.meter != nil {
 		r.meter.RecordArrival(r.now(), node, what)
 	}
 }
 
-func (r *run) count(f func(c *counts)) {
+func (r *run) updateCounts(f func(c *counts)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f(&r.counts)
@@ -155,10 +155,10 @@
 }
 
 // group returns that of a cell.
-func (r *run) group(cell int) *group {
+func (r *run) groupOf(cell int) *group {
 	if r.groups[cell] == nil {
 		var window monotime.Micros
-		for _, c := range r.o.Judge.Classes {
+		for _, c := range r.options.Criteria.Classes {
 			if c.Idempotency == balancer.IdempotentByKey {
 				window = max(window, c.DedupWindow)
 			}
@@ -174,17 +174,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	r := &run{work: &labour{working: map[int]bool{}}, o: o, plan: o.Plan, own: own, site: &own.Site, habits: o.Plan.ClientBehavior(), groups: map[int]*group{}, reports: rand.New(&locked{src: rand.NewPCG(o.Plan.Seed, 5)}),
-		stories: map[uint64]*story{}, last: make([]monotime.Micros, len(o.Plan.Endpoints))}
+	r := &run{maintenance: &maintenanceRun{underMaintenance: map[int]bool{}}, options: o, plan: o.Plan, config: own, site: &own.Site, clientBehavior: o.Plan.ClientBehavior(), groups: map[int]*group{}, reportRand: rand.New(&lockedSource{src: rand.NewPCG(o.Plan.Seed, 5)}),
+		operations: map[uint64]*operation{}, lastAnnounced: make([]monotime.Micros, len(o.Plan.Endpoints))}
 	seed := o.Plan.Seed
-	r.noise, r.luck, r.callers, r.draws = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "discovery")
-	if err := r.fit(); err != nil {
+	r.workNoise, r.outcomeRand, r.clientRand, r.discoveryRand = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "discovery")
+	if err := r.mapClassesAndTenants(); err != nil {
 		return nil, err
 	}
-	if r.dir, err = os.MkdirTemp("", "dunlinlab"); err != nil {
+	if r.workDir, err = os.MkdirTemp("", "dunlinlab"); err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(r.dir)
+	defer os.RemoveAll(r.workDir)
 	defer r.close()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -197,7 +197,7 @@
 			return nil, err
 		}
 	}
-	if err := r.together(); err != nil {
+	if err := r.setUpPeers(); err != nil {
 		return nil, err
 	}
 	for i := range o.Plan.Instances {
@@ -208,14 +208,14 @@
 		r.instances = append(r.instances, in)
 	}
 	for _, in := range r.instances {
-		if err := r.ready(ctx, in); err != nil {
+		if err := r.awaitReady(ctx, in); err != nil {
 			return nil, err
 		}
 	}
 	// The run begins now: what endpoints were before counts for nothing.
-	r.count(func(c *counts) {
+	r.updateCounts(func(c *counts) {
 		*c = counts{}
-		r.meter = measure.New(o.Judge, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
+		r.meter = measure.New(o.Criteria, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
 		r.meter.SetFaultPeriod(o.Plan.EventPeriod())
 		r.meter.SetEnvironment(measure.Environment{Capacity: o.Plan.CapacityAt, Serving: o.Plan.InstanceServing})
 	})
@@ -223,7 +223,7 @@
 	for _, e := range r.endpoints {
 		e.mu.Lock()
 		worked -= e.node.WorkDone()
-		e.runs = 0
+		e.executions = 0
 		e.mu.Unlock()
 	}
 	r.offset.Store(time.Since(r.base).Microseconds())
@@ -235,30 +235,30 @@
 	var beside sync.WaitGroup
 	r.schedule(ctx, &beside)
 	for i := range r.instances {
-		beside.Go(func() { r.ask(ctx, i) })
+		beside.Go(func() { r.runClients(ctx, i) })
 	}
 	beside.Wait()
-	r.open.Wait()
+	r.openOperations.Wait()
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
 	for _, in := range r.instances {
 		in.kill() // what they spent is whole then
 	}
-	if err := r.spent(); err != nil {
+	if err := r.readSpent(); err != nil {
 		return nil, err
 	}
 	return r.result(worked), nil
 }
 
 // locked is a source for several callers.
-type locked struct {
+type lockedSource struct {
 	mu  sync.Mutex
 	src *rand.PCG
 }
 
 // Uint64 draws.
-func (l *locked) Uint64() uint64 {
+func (l *lockedSource) Uint64() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.src.Uint64()
@@ -270,18 +270,18 @@
 		n := &r.plan.Endpoints[i]
 		e.mu.Lock()
 		worked += e.node.WorkDone()
-		nodes = append(nodes, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.runs, MaxInFlight: e.most,
+		nodes = append(nodes, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight,
 			Utilization: e.node.WorkDone() / n.Config.Speed / float64(n.Config.Cores) / float64(r.now())})
 		e.mu.Unlock()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock() // probes still come
 	c := &r.meter.Costs
-	c.Attempts, c.CrossZone, c.Dials, c.Probes = r.counts.attempts, r.counts.cross, r.counts.dials, r.counts.probes
-	c.Collapses, c.DuplicateEffects, c.ClientDuplicateEffects, c.LateResponses = r.counts.falls, r.counts.twice, r.counts.clientsTwice, r.counts.late
+	c.Attempts, c.CrossZone, c.Dials, c.Probes = r.counts.attempts, r.counts.crossZone, r.counts.dials, r.counts.probes
+	c.Collapses, c.DuplicateEffects, c.ClientDuplicateEffects, c.LateResponses = r.counts.collapses, r.counts.duplicateEffects, r.counts.clientDuplicateEffects, r.counts.unanswered
 	c.ExecutedWork = worked
-	if l := r.work; l.asked > 0 {
-		r.meter.RecordMaintenance(l.asked, l.done, l.sent, l.took)
+	if l := r.maintenance; l.requested > 0 {
+		r.meter.RecordMaintenance(l.requested, l.completed, l.requestsDuring, l.duration)
 	}
 	result := r.meter.Result()
 	result.Scenario, result.Seed, result.Elapsed, result.Endpoints = r.plan.Name, r.plan.Seed, time.Duration(r.now())*time.Microsecond, nodes
@@ -289,10 +289,10 @@
 }
 
 // fit finds the plan's classes and tenants among the judge's.
-func (r *run) fit() error {
+func (r *run) mapClassesAndTenants() error {
 	for _, c := range r.plan.Classes {
 		at := -1
-		for i, j := range r.o.Judge.Classes {
+		for i, j := range r.options.Criteria.Classes {
 			if j.Name == c.Name {
 				at = i
 			}
@@ -300,11 +300,11 @@
 		if at < 0 {
 			return fmt.Errorf("the scenario's class %q is none of the settings' classes", c.Name)
 		}
-		r.classOf = append(r.classOf, at)
+		r.criteriaClass = append(r.criteriaClass, at)
 	}
 	for _, t := range r.plan.Tenants {
 		at := -1
-		for i, j := range r.o.Judge.Tenants {
+		for i, j := range r.options.Criteria.Tenants {
 			if j.Name == t.Name {
 				at = i
 			}
@@ -312,7 +312,7 @@
 		if at < 0 {
 			return fmt.Errorf("the scenario's tenant %q is none of the settings' tenants", t.Name)
 		}
-		r.tenant = append(r.tenant, at)
+		r.criteriaTenant = append(r.criteriaTenant, at)
 	}
 	return nil
 }
@@ -320,8 +320,8 @@
 func (r *run) close() {
 	for _, in := range r.instances {
 		in.kill()
-		in.roster.Close()
-		for _, a := range in.asks {
+		in.discovery.Close()
+		for _, a := range in.httpClients {
 			a.CloseIdleConnections()
 		}
 	}
@@ -332,7 +332,7 @@
 		e.timer.Stop()
 		e.mu.Lock()
 		for _, j := range e.node.Kill(r.now()) {
-			close(j.HostData.(*waiting).lost)
+			close(j.HostData.(*pendingJob).killed)
 		}
 		e.mu.Unlock()
 		e.close()
@@ -342,36 +342,36 @@
 // ---- Instances ---------------------------------------------------------------------
 
 // entry is an endpoint's entry for an instance.
-func (r *run) entry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
+func (r *run) discoveryEntry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
 	p := &r.plan.Endpoints[n]
 	e := discovery.Instance{ID: p.Name, Address: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.EndpointKinds[p.Kind].Kind,
 		Cell: uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
 	if started > 0 {
-		e.StartedMs = r.time(started).UnixMilli()
+		e.StartedMs = r.wallTime(started).UnixMilli()
 	}
 	return e
 }
 
 // entries are those of all endpoints for an instance, as the run begins.
-func (r *run) entries(instance int) (all []discovery.Instance) {
+func (r *run) discoveryEntries(instance int) (all []discovery.Instance) {
 	for i := range r.plan.Endpoints {
 		started := monotime.Micros(0)
 		if r.plan.Endpoints[i].StartsWithRun {
 			started = 1
 		}
-		all = append(all, r.entry(i, instance, "up", started))
+		all = append(all, r.discoveryEntry(i, instance, "up", started))
 	}
 	return all
 }
 
 func (r *run) newInstance(n int) (*instance, error) {
-	in := &instance{n: n}
+	in := &instance{index: n}
 	var err error
-	if in.roster, err = discoveryserver.Start(r.entries(n)...); err != nil {
+	if in.discovery, err = discoveryserver.Start(r.discoveryEntries(n)...); err != nil {
 		return nil, err
 	}
 	listeners := r.plan.Clients.Processes
-	if isSidecar(r.o.Daemon) {
+	if isSidecar(r.options.Daemon) {
 		listeners = 1 // it is one application's
 	}
 	for range listeners {
@@ -379,51 +379,51 @@
 		if err != nil {
 			return nil, err
 		}
-		in.addrs = append(in.addrs, addr)
-		in.asks = append(in.asks, &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}})
+		in.listenAddrs = append(in.listenAddrs, addr)
+		in.httpClients = append(in.httpClients, &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}})
 	}
-	write, name := r.file, "instance-%d.toml"
-	if isSidecar(r.o.Daemon) {
-		write, name = r.sidecarFile, "instance-%d.json"
+	write, name := r.daemonConfig, "instance-%d.toml"
+	if isSidecar(r.options.Daemon) {
+		write, name = r.sidecarConfig, "instance-%d.json"
 	}
 	text, err := write(in)
 	if err != nil {
 		return nil, err
 	}
-	in.config = filepath.Join(r.dir, fmt.Sprintf(name, n))
-	if err := os.WriteFile(in.config, text, 0o600); err != nil {
+	in.configPath = filepath.Join(r.workDir, fmt.Sprintf(name, n))
+	if err := os.WriteFile(in.configPath, text, 0o600); err != nil {
 		return nil, err
 	}
 	return in, r.launch(in)
 }
 
 // program is what an instance is a process of.
-func (r *run) program(in *instance) (path string, other bool) {
-	if r.o.Beside != "" && in.n%2 == 1 {
-		return r.o.Beside, true
+func (r *run) programOf(in *instance) (path string, other bool) {
+	if r.options.AlternateDaemon != "" && in.index%2 == 1 {
+		return r.options.AlternateDaemon, true
 	}
-	return r.o.Daemon, false
+	return r.options.Daemon, false
 }
 
 // news are the tables of a daemon's file that another version may not know.
-var news = []string{"overload", "peers", "operators", "work"}
+var alternateUnknownTables = []string{"overload", "peers", "operators", "work"}
 
 // file is an instance's file: the settings', with what differs between instances and what is of this run.
-func (r *run) file(in *instance) ([]byte, error) {
+func (r *run) daemonConfig(in *instance) ([]byte, error) {
 	var doc map[string]any
-	if err := toml.Unmarshal(r.o.Settings, &doc); err != nil {
+	if err := toml.Unmarshal(r.options.Settings, &doc); err != nil {
 		return nil, err
 	}
-	if _, other := r.program(in); other {
-		for _, table := range news {
+	if _, other := r.programOf(in); other {
+		for _, table := range alternateUnknownTables {
 			delete(doc, table)
 		}
 	}
-	doc["name"] = fmt.Sprint("instance-", in.n)
-	doc["discovery"] = map[string]any{"address": in.roster.Addr, "mode": r.own.Discovery.Mode}
+	doc["name"] = fmt.Sprint("instance-", in.index)
+	doc["discovery"] = map[string]any{"address": in.discovery.Addr, "mode": r.config.Discovery.Mode}
 	delete(doc, "takeover")
-	if r.upgrades() {
-		doc["takeover"] = map[string]any{"socket": filepath.Join(r.dir, fmt.Sprint("takeover-", in.n)), "drain_within": r.own.Takeover.DrainWithin.String()}
+	if r.hasUpgrades() {
+		doc["takeover"] = map[string]any{"socket": filepath.Join(r.workDir, fmt.Sprint("takeover-", in.index)), "drain_within": r.config.Takeover.DrainWithin.String()}
 	}
 	delete(doc, "record")
 	delete(doc, "others")
@@ -431,32 +431,32 @@
 	if fleet == nil {
 		fleet = map[string]any{}
 	}
-	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances)+r.liars(), in.n, r.plan.Fleet.Zones[r.plan.Instances[in.n].Zone]
+	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances)+r.misreporterCount(), in.index, r.plan.Fleet.Zones[r.plan.Instances[in.index].Zone]
 	doc["fleet"] = fleet
-	if table, ok := doc["peers"].(map[string]any); ok && len(r.peers) > 0 {
-		doc["peers"] = r.peersTable(in, table)
+	if table, ok := doc["peers"].(map[string]any); ok && len(r.peerAddrs) > 0 {
+		doc["peers"] = r.fillPeersTable(in, table)
 	}
-	if err := r.workTables(in, doc); err != nil {
+	if err := r.addMaintenanceTables(in, doc); err != nil {
 		return nil, err
 	}
-	if r.limits() {
+	if r.hasTenantLimits() {
 		table, _ := doc["peers"].(map[string]any)
 		if table == nil {
 			table = map[string]any{}
 			doc["peers"] = table
 		}
-		table["spent"] = r.spentPath(in.n)
+		table["spent"] = r.spentPath(in.index)
 	}
 	bounds := map[string]any{}
-	if len(r.own.Clients) > 0 {
-		b := &r.own.Clients[0].ClientLimits
+	if len(r.config.Clients) > 0 {
+		b := &r.config.Clients[0].ClientLimits
 		bounds = map[string]any{"weight": b.Weight, "open_requests": b.MaxOpen, "requests_per_second": b.Rate}
 		if b.Rate > 0 {
 			bounds["burst"] = b.Burst
 		}
 	}
 	var listeners, clients []any
-	for i, addr := range in.addrs {
+	for i, addr := range in.listenAddrs {
 		name := fmt.Sprint("process-", i)
 		listeners = append(listeners, map[string]any{"name": name, "address": addr, "client": name})
 		client := map[string]any{"name": name}
@@ -473,18 +473,18 @@
 func (r *run) launch(in *instance) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	program, other := r.program(in)
-	if isSidecar(r.o.Daemon) {
+	program, other := r.programOf(in)
+	if isSidecar(r.options.Daemon) {
 		in.cmd = exec.Command(program)
-		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "ROUTER_CONFIG="+in.config)
-		if r.own.Overload.On && !other {
+		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "ROUTER_CONFIG="+in.configPath)
+		if r.config.Overload.On && !other {
 			in.cmd.Env = append(in.cmd.Env, "ROUTER_OVERLOAD=1")
 		}
 	} else {
-		in.cmd = exec.Command(program, "--config", in.config)
+		in.cmd = exec.Command(program, "--config", in.configPath)
 		in.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	}
-	in.cmd.Stderr = r.o.Log
+	in.cmd.Stderr = r.options.Log
 	in.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := in.cmd.Start(); err != nil {
 		return err
@@ -494,7 +494,7 @@
 	go func() {
 		defer close(ended)
 		if err := cmd.Wait(); !killed.Load() {
-			r.fail(fmt.Errorf("the process of instance %d has ended by itself: %v", in.n, err))
+			r.fail(fmt.Errorf("the process of instance %d has ended by itself: %v", in.index, err))
 		}
 	}()
 	return nil
@@ -510,15 +510,15 @@
 	in.killed.Store(true)
 	in.cmd.Process.Kill()
 	<-in.ended
-	for _, p := range in.former {
+	for _, p := range in.predecessors {
 		p.cmd.Process.Kill()
 		<-p.ended
 	}
-	in.former = nil
+	in.predecessors = nil
 }
 
 // former is a process whose place another takes.
-type former struct {
+type predecessor struct {
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -531,7 +531,7 @@
 		return
 	}
 	in.killed.Store(true) // its end is no fault
-	in.former = append(in.former, former{in.cmd, in.ended})
+	in.predecessors = append(in.predecessors, predecessor{in.cmd, in.ended})
 	in.mu.Unlock()
 	if err := r.launch(in); err != nil {
 		r.fail(err)
@@ -539,7 +539,7 @@
 }
 
 // upgrades says whether processes take over from others in this run.
-func (r *run) upgrades() bool {
+func (r *run) hasUpgrades() bool {
 	return slices.ContainsFunc(r.plan.PlannedEvents, func(h scenario.PlannedEvent) bool { return h.What == "upgrade" })
 }
 
@@ -547,7 +547,7 @@
 func (r *run) freeze(instances []int, until monotime.Micros) {
 	for _, n := range instances {
 		in := r.instances[n]
-		in.thawed.Store(max(in.thawed.Load(), until+frozenSlack))
+		in.suspendedUntil.Store(max(in.suspendedUntil.Load(), until+resumeGrace))
 		in.signal(syscall.SIGSTOP)
 	}
 }
@@ -557,13 +557,13 @@
 	for _, n := range instances {
 		in := r.instances[n]
 		in.signal(syscall.SIGCONT)
-		in.thawed.Store(r.now() + frozenSlack)
+		in.suspendedUntil.Store(r.now() + resumeGrace)
 	}
 }
 
 // frozenSlack is until when after its going on an instance is not held to answers in time, in microseconds: what had come
 // meanwhile comes to it at once.
-const frozenSlack = 100_000
+const resumeGrace = 100_000
 
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
@@ -574,9 +574,9 @@
 }
 
 // ready waits until an instance serves.
-func (r *run) ready(ctx context.Context, in *instance) error {
+func (r *run) awaitReady(ctx context.Context, in *instance) error {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-		resp, err := http.Get("http://" + in.addrs[0] + "/-/ready")
+		resp, err := http.Get("http://" + in.listenAddrs[0] + "/-/ready")
 		if err != nil {
 			continue
 		}
@@ -588,11 +588,11 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	return fmt.Errorf("instance %d does not become ready", in.n)
+	return fmt.Errorf("instance %d does not become ready", in.index)
 }
 
 // change tells discovery how it stands with an endpoint, after the time that it takes to hear of it.
-func (r *run) change(n int, state balancer.EndpointState, vanished bool) {
+func (r *run) announceState(n int, state balancer.EndpointState, vanished bool) {
 	d := &r.plan.Discovery
 	after := d.Add
 	lifecycle := "up"
@@ -606,15 +606,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.changes++
+	r.discoveryChanges++
 	now := r.now()
 	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
-	heard := now + monotime.Micros(lo+(hi-lo)*r.draws.For(uint64(n), r.changes).Float64()) + r.stale
-	heard = max(heard, r.last[n]+1)
-	r.last[n] = heard
-	time.AfterFunc(time.Duration(heard-now)*time.Microsecond, func() {
+	announceAt := now + monotime.Micros(lo+(hi-lo)*r.discoveryRand.For(uint64(n), r.discoveryChanges).Float64()) + r.discoveryDelay
+	announceAt = max(announceAt, r.lastAnnounced[n]+1)
+	r.lastAnnounced[n] = announceAt
+	time.AfterFunc(time.Duration(announceAt-now)*time.Microsecond, func() {
 		for _, in := range r.instances {
-			in.roster.Set(r.entry(n, in.n, lifecycle, now))
+			in.discovery.Set(r.discoveryEntry(n, in.index, lifecycle, now))
 		}
 	})
 }
@@ -622,26 +622,26 @@
 // ---- Clients -----------------------------------------------------------------------
 
 // story is a client's.
-type story struct {
+type operation struct {
 	simclient.Operation
-	class   *balancer.Class
-	worth   float64
-	within  bool
-	worked  monotime.Micros // by its latest attempt that ran
-	effects map[int]int     // of each try
-	count   map[int]int     // attempts of each try that reached an endpoint
+	class       *balancer.Class
+	weight      float64
+	within      bool
+	serviceTime monotime.Micros // by its latest attempt that ran
+	effects     map[int]int     // of each try
+	arrivals    map[int]int     // attempts of each try that reached an endpoint
 }
 
 // job is a request at an endpoint.
 type job struct {
 	simendpoint.Job
-	story   *story
-	try     int
-	further bool // its instance sent the request before
+	operation *operation
+	attempt   int
+	retry     bool // its instance sent the request before
 }
 
 // job makes an endpoint's request of what came.
-func (r *run) job(q *http.Request) (*job, error) {
+func (r *run) parseJob(q *http.Request) (*job, error) {
 	v := q.URL.Query()
 	id, err := strconv.ParseUint(v.Get("s"), 16, 64)
 	try, err2 := strconv.Atoi(v.Get("t"))
@@ -650,21 +650,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.stories[id]
+	s := r.operations[id]
 	if s == nil {
 		return nil, fmt.Errorf("no client asked for %x", id)
 	}
-	which := uint64(try)<<8 | uint64(s.count[try])
-	s.count[try]++
-	j := &job{story: s, try: try, further: s.count[try] > 1}
+	which := uint64(try)<<8 | uint64(s.arrivals[try])
+	s.arrivals[try]++
+	j := &job{operation: s, attempt: try, retry: s.arrivals[try] > 1}
 	c := 0
-	for i, at := range r.classOf {
+	for i, at := range r.criteriaClass {
 		if at == s.Class {
 			c = i
 		}
 	}
-	j.Class, j.Work = s.Class, simendpoint.DrawWork(r.noise.For(id, which), s.Work, r.plan.Classes[c].Noise)
-	j.Chance = r.luck.For(id, which).Float64()
+	j.Class, j.Work = s.Class, simendpoint.DrawWork(r.workNoise.For(id, which), s.Work, r.plan.Classes[c].Noise)
+	j.Chance = r.outcomeRand.For(id, which).Float64()
 	if text := q.Header.Get("Idempotency-Key"); text != "" {
 		if j.IdempotencyKey, err = strconv.ParseUint(text, 16, 64); err != nil {
 			return nil, err
@@ -674,28 +674,28 @@
 }
 
 // ran notes that a request has run.
-func (r *run) ran(j *job, x simendpoint.Completion) {
+func (r *run) recordExecution(j *job, x simendpoint.Completion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := j.story
+	s := j.operation
 	s.Executions++
-	s.worked = j.Work
+	s.serviceTime = j.Work
 	if !x.Effect {
 		return
 	}
 	s.Effects++
-	s.effects[j.try]++
+	s.effects[j.attempt]++
 	if s.class.Idempotency != balancer.Idempotent && s.Effects > 1 {
-		if s.effects[j.try] > 1 {
-			r.counts.twice++
+		if s.effects[j.attempt] > 1 {
+			r.counts.duplicateEffects++
 		} else {
-			r.counts.clientsTwice++
+			r.counts.clientDuplicateEffects++
 		}
 	}
 }
 
 // ask has the clients of an instance ask, by the plan's clock.
-func (r *run) ask(ctx context.Context, instance int) {
+func (r *run) runClients(ctx context.Context, instance int) {
 	next := r.plan.Operations(instance)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -704,62 +704,62 @@
 		if !ok {
 			return
 		}
-		timer.Reset(time.Until(r.time(x.StartedAt)) - coarse)
+		timer.Reset(time.Until(r.wallTime(x.StartedAt)) - timerGranularity)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
-		sleep(r.time(x.StartedAt))
-		s := &story{Operation: x, effects: map[int]int{}, count: map[int]int{}}
-		s.Class = r.classOf[s.Class]
+		sleepUntil(r.wallTime(x.StartedAt))
+		s := &operation{Operation: x, effects: map[int]int{}, arrivals: map[int]int{}}
+		s.Class = r.criteriaClass[s.Class]
 		if s.Tenant >= 0 {
-			s.Tenant = r.tenant[s.Tenant]
+			s.Tenant = r.criteriaTenant[s.Tenant]
 		}
-		s.class = &r.o.Judge.Classes[s.Class]
+		s.class = &r.options.Criteria.Classes[s.Class]
 		if s.class.Idempotency != balancer.IdempotentByKey {
 			s.IdempotencyKey = 0
 		}
 		r.mu.Lock()
-		r.stories[s.ID] = s
-		s.worth, s.within = r.meter.Weight(&s.Operation)
+		r.operations[s.ID] = s
+		s.weight, s.within = r.meter.Weight(&s.Operation)
 		// What a client waits for counts from when it wanted to ask, however late this goroutine is.
-		t := s.Start(x.StartedAt, &r.habits, s.class, r.callers.For(s.ID, 0))
+		t := s.Start(x.StartedAt, &r.clientBehavior, s.class, r.clientRand.For(s.ID, 0))
 		r.mu.Unlock()
-		r.open.Go(func() { r.tell(ctx, s, t) })
+		r.openOperations.Go(func() { r.runOperation(ctx, s, t) })
 	}
 }
 
 // tell lives a story to its end.
-func (r *run) tell(ctx context.Context, s *story, t simclient.Request) {
+func (r *run) runOperation(ctx context.Context, s *operation, t simclient.Request) {
 	for {
-		verdict, retryAfter := r.try(ctx, s, t)
+		verdict, retryAfter := r.attempt(ctx, s, t)
 		r.mu.Lock()
 		now := r.now()
-		at, again := s.RequestEnded(now, t.Number, verdict, retryAfter, s.class, r.callers.For(s.ID, uint64(2*t.Number+1)))
+		at, again := s.RequestEnded(now, t.Number, verdict, retryAfter, s.class, r.clientRand.For(s.ID, uint64(2*t.Number+1)))
 		if !again {
-			r.meter.OperationEnded(&s.Operation, r.plan.Instances[s.Instance].Zone, s.worth, s.within)
+			r.meter.OperationEnded(&s.Operation, r.plan.Instances[s.Instance].Zone, s.weight, s.within)
 			r.mu.Unlock()
 			return
 		}
 		r.mu.Unlock()
-		sleep(r.time(at))
+		sleepUntil(r.wallTime(at))
 		r.mu.Lock()
-		t = s.Retry(r.now(), &r.habits, s.class, r.callers.For(s.ID, uint64(2*s.Requests)))
+		t = s.Retry(r.now(), &r.clientBehavior, s.class, r.clientRand.For(s.ID, uint64(2*s.Requests)))
 		r.mu.Unlock()
 	}
 }
 
 // try makes one request and waits for what comes of it.
-func (r *run) try(ctx context.Context, s *story, t simclient.Request) (simclient.RequestOutcome, monotime.Micros) {
+func (r *run) attempt(ctx context.Context, s *operation, t simclient.Request) (simclient.RequestOutcome, monotime.Micros) {
 	began := r.now()
-	r.count(func(*counts) { r.meter.Costs.ClientRequests++ })
+	r.updateCounts(func(*counts) { r.meter.Costs.ClientRequests++ })
 	// A client that waits to the end is there a little longer, to see whether an answer that is owed comes at all.
-	until := t.Deadline + lateMost
+	until := t.Deadline + answerTolerance
 	if t.AbortAt > 0 {
 		until = t.AbortAt
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.time(until))
+	ctx, cancel := context.WithDeadline(ctx, r.wallTime(until))
 	defer cancel()
 	in := r.instances[s.Instance]
 	method := http.MethodGet
@@ -767,7 +767,7 @@
 	if s.class.Idempotency != balancer.Idempotent {
 		method, body = http.MethodPost, strings.NewReader("{}")
 	}
-	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/%s/x?s=%x&t=%d", in.addrs[s.Process%len(in.addrs)], s.class.Name, s.ID, t.Number), body)
+	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/%s/x?s=%x&t=%d", in.listenAddrs[s.Process%len(in.listenAddrs)], s.class.Name, s.ID, t.Number), body)
 	if err != nil {
 		panic(err) // of our own making
 	}
@@ -777,7 +777,7 @@
 	q.Header.Set("X-Object", fmt.Sprintf("%x", s.Object))
 	q.Header.Set("X-Expires-In-Ms", fmt.Sprint(left))
 	if s.Tenant >= 0 {
-		q.Header.Set("X-Customer", r.o.Judge.Tenants[s.Tenant].Name)
+		q.Header.Set("X-Customer", r.options.Criteria.Tenants[s.Tenant].Name)
 	}
 	if t.IdempotencyKey != 0 {
 		q.Header.Set("Idempotency-Key", fmt.Sprintf("%x", t.IdempotencyKey))
@@ -785,15 +785,15 @@
 	if t.Retry {
 		q.Header.Set("X-Second-Try", "1")
 	}
-	resp, err := in.asks[s.Process%len(in.asks)].Do(q)
+	resp, err := in.httpClients[s.Process%len(in.httpClients)].Do(q)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 	}
 	if err != nil {
 		// An instance that was stopped meanwhile owes nothing.
-		if errors.Is(err, context.DeadlineExceeded) && t.AbortAt == 0 && in.thawed.Load() < began {
-			r.count(func(c *counts) { c.late++ })
+		if errors.Is(err, context.DeadlineExceeded) && t.AbortAt == 0 && in.suspendedUntil.Load() < began {
+			r.updateCounts(func(c *counts) { c.unanswered++ })
 		}
 		return simclient.NoResponse, 0
 	}
@@ -802,7 +802,7 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		r.count(func(*counts) { r.meter.Costs.UsefulWork += float64(s.worked) })
+		r.updateCounts(func(*counts) { r.meter.Costs.UsefulWork += float64(s.serviceTime) })
 		return simclient.OK, 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		var after float64
@@ -817,7 +817,7 @@
 // ---- What goes wrong ------------------------------------------------------------------
 
 // cut says whether nothing comes through between two zones.
-func (r *run) cut(a, b int) bool {
+func (r *run) isPartitioned(a, b int) bool {
 	if a == b {
 		return false
 	}
@@ -832,16 +832,16 @@
 }
 
 // hush has nothing come through to the endpoints that are cut off.
-func (r *run) hush() {
+func (r *run) applySilence() {
 	for _, e := range r.endpoints {
-		if err := e.hush(); err != nil {
+		if err := e.applySilence(); err != nil {
 			r.fail(err)
 		}
 	}
 }
 
 // conditions sets what goes wrong at an endpoint by all that happens now.
-func (r *run) conditions(n int) {
+func (r *run) updateCondition(n int) {
 	var c simendpoint.Condition
 	now := r.now()
 	for i := range r.plan.PlannedEvents {
@@ -851,17 +851,17 @@
 		}
 		for j, at := range h.Endpoints {
 			if at == n {
-				h.AddCondition(&c, now, j, r.classOf)
+				h.AddCondition(&c, now, j, r.criteriaClass)
 			}
 		}
 	}
-	r.endpoints[n].set(c)
+	r.endpoints[n].setCondition(c)
 }
 
 // at calls f at an instant, unless the run has ended by then.
-func (r *run) at(ctx context.Context, beside *sync.WaitGroup, at monotime.Micros, f func()) {
+func (r *run) scheduleAt(ctx context.Context, beside *sync.WaitGroup, at monotime.Micros, f func()) {
 	beside.Go(func() {
-		timer := time.NewTimer(time.Until(r.time(at)))
+		timer := time.NewTimer(time.Until(r.wallTime(at)))
 		defer timer.Stop()
 		select {
 		case <-timer.C:
@@ -883,7 +883,7 @@
 		h := &r.plan.PlannedEvents[i]
 		over := func(f func()) {
 			if h.Until < math.MaxInt64 && h.Until < end {
-				r.at(ctx, beside, h.Until+1, f)
+				r.scheduleAt(ctx, beside, h.Until+1, f)
 			}
 		}
 		each := func(f func(n int)) func() {
@@ -896,47 +896,47 @@
 		kill := func(silent bool) func(n int) {
 			return func(n int) {
 				r.endpoints[n].kill(silent)
-				r.change(n, balancer.Gone, silent)
+				r.announceState(n, balancer.Gone, silent)
 			}
 		}
 		switch h.What {
 		case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
-			r.at(ctx, beside, h.At, each(r.conditions))
-			over(each(r.conditions))
+			r.scheduleAt(ctx, beside, h.At, each(r.updateCondition))
+			over(each(r.updateCondition))
 		case "neighbour":
 			for at := h.At; at < min(h.Until, end); at += max(h.Every, 1_000_000) {
-				r.at(ctx, beside, at, each(r.conditions))
+				r.scheduleAt(ctx, beside, at, each(r.updateCondition))
 				if h.Every <= 0 {
 					break
 				}
 			}
-			over(each(r.conditions))
+			over(each(r.updateCondition))
 		case "pause":
-			r.at(ctx, beside, h.At, each(func(n int) { r.endpoints[n].pause(h.Until - h.At) }))
+			r.scheduleAt(ctx, beside, h.At, each(func(n int) { r.endpoints[n].pause(h.Until - h.At) }))
 		case "drain":
-			r.at(ctx, beside, h.At, each(func(n int) { r.endpoints[n].drain() }))
+			r.scheduleAt(ctx, beside, h.At, each(func(n int) { r.endpoints[n].drain() }))
 			over(each(up))
 		case "kill":
-			r.at(ctx, beside, h.At, each(kill(false)))
+			r.scheduleAt(ctx, beside, h.At, each(kill(false)))
 			over(each(up))
 		case "vanish":
-			r.at(ctx, beside, h.At, each(kill(true)))
+			r.scheduleAt(ctx, beside, h.At, each(kill(true)))
 			over(each(up))
 		case "rolling":
 			for k, n := range h.Endpoints {
 				if at := h.At + monotime.Micros(k)*h.Every; at < min(h.Until, end) {
-					r.at(ctx, beside, at, func() { r.endpoints[n].drain() })
-					r.at(ctx, beside, at+h.Every, func() { up(n) })
+					r.scheduleAt(ctx, beside, at, func() { r.endpoints[n].drain() })
+					r.scheduleAt(ctx, beside, at+h.Every, func() { up(n) })
 				}
 			}
 		case "cut":
 			pair := [2]int{h.Zone, h.To}
-			r.at(ctx, beside, h.At, func() {
-				r.count(func(*counts) { r.cuts = append(r.cuts, pair) })
-				r.hush()
+			r.scheduleAt(ctx, beside, h.At, func() {
+				r.updateCounts(func(*counts) { r.cuts = append(r.cuts, pair) })
+				r.applySilence()
 			})
 			over(func() {
-				r.count(func(*counts) {
+				r.updateCounts(func(*counts) {
 					for j, c := range r.cuts {
 						if c == pair {
 							r.cuts = append(r.cuts[:j:j], r.cuts[j+1:]...)
@@ -944,23 +944,23 @@
 						}
 					}
 				})
-				r.hush()
+				r.applySilence()
 			})
 		case "stale":
-			r.at(ctx, beside, h.At, func() { r.count(func(*counts) { r.stale += h.Delay }) })
-			over(func() { r.count(func(*counts) { r.stale -= h.Delay }) })
+			r.scheduleAt(ctx, beside, h.At, func() { r.updateCounts(func(*counts) { r.discoveryDelay += h.Delay }) })
+			over(func() { r.updateCounts(func(*counts) { r.discoveryDelay -= h.Delay }) })
 		case "silent":
 			each := func(on bool) func() {
 				return func() {
 					for _, in := range r.instances {
-						in.roster.Silence(on)
+						in.discovery.Silence(on)
 					}
 				}
 			}
-			r.at(ctx, beside, h.At, each(true))
+			r.scheduleAt(ctx, beside, h.At, each(true))
 			over(each(false))
 		case "restart", "power":
-			r.at(ctx, beside, h.At, func() {
+			r.scheduleAt(ctx, beside, h.At, func() {
 				if h.What == "power" {
 					for n := range r.endpoints {
 						kill(false)(n)
@@ -985,24 +985,24 @@
 			if h.Until < math.MaxInt64 {
 				over(back)
 			} else {
-				r.at(ctx, beside, h.At+1_000_000, back)
+				r.scheduleAt(ctx, beside, h.At+1_000_000, back)
 			}
 		case "liar":
-			r.at(ctx, beside, h.At, func() {
-				stop, err := r.lie(h.Sizes[0])
+			r.scheduleAt(ctx, beside, h.At, func() {
+				stop, err := r.startMisreporter(h.Sizes[0])
 				if err != nil {
 					r.fail(err)
 					return
 				}
-				r.at(ctx, beside, min(h.Until, end), stop)
+				r.scheduleAt(ctx, beside, min(h.Until, end), stop)
 			})
 		case "limits":
-			r.at(ctx, beside, h.At, func() { r.relimit(h.Instances, h.Sizes[0]) })
-			over(func() { r.relimit(h.Instances, 1) })
+			r.scheduleAt(ctx, beside, h.At, func() { r.scaleTenantLimits(h.Instances, h.Sizes[0]) })
+			over(func() { r.scaleTenantLimits(h.Instances, 1) })
 		case "work":
-			r.at(ctx, beside, h.At, func() { r.labour(ctx, h) })
+			r.scheduleAt(ctx, beside, h.At, func() { r.runMaintenance(ctx, h) })
 		case "upgrade":
-			r.at(ctx, beside, h.At, func() {
+			r.scheduleAt(ctx, beside, h.At, func() {
 				for _, n := range h.Instances {
 					r.upgrade(r.instances[n])
 				}
@@ -1010,8 +1010,8 @@
 		case "freeze":
 			for at := h.At; at < min(h.Until, end); at += 2 * h.Every {
 				until, _ := h.Frozen(at)
-				r.at(ctx, beside, at, func() { r.freeze(h.Instances, until) })
-				r.at(ctx, beside, until, func() { r.thaw(h.Instances) })
+				r.scheduleAt(ctx, beside, at, func() { r.freeze(h.Instances, until) })
+				r.scheduleAt(ctx, beside, until, func() { r.thaw(h.Instances) })
 				if h.Every <= 0 {
 					break
 				}
@@ -1020,26 +1020,26 @@
 			deafen := func(on bool) func() {
 				return func() {
 					for _, n := range h.Instances {
-						r.instances[n].roster.Silence(on)
+						r.instances[n].discovery.Silence(on)
 					}
 				}
 			}
-			r.at(ctx, beside, h.At, deafen(true))
+			r.scheduleAt(ctx, beside, h.At, deafen(true))
 			over(deafen(false))
 		case "sever":
-			r.at(ctx, beside, h.At, r.hush)
-			over(r.hush)
+			r.scheduleAt(ctx, beside, h.At, r.applySilence)
+			over(r.applySilence)
 		}
 	}
 	for n := range r.endpoints {
 		if p := r.endpoints[n].plan; p.PauseEvery > 0 && p.PauseFor > 0 {
-			beside.Go(func() { r.pauses(ctx, n) })
+			beside.Go(func() { r.runRandomPauses(ctx, n) })
 		}
 	}
 }
 
 // pauses stops an endpoint for a moment now and then, at the same instants as in the model.
-func (r *run) pauses(ctx context.Context, n int) {
+func (r *run) runRandomPauses(ctx context.Context, n int) {
 	p := r.endpoints[n].plan
 	stream := randstream.New(r.plan.Seed, "pauses")
 	at := monotime.Micros(0)
@@ -1048,7 +1048,7 @@
 		if at >= r.plan.Length.Micros() {
 			return
 		}
-		timer := time.NewTimer(time.Until(r.time(at)))
+		timer := time.NewTimer(time.Until(r.wallTime(at)))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/experiment/processes/live_test.go
+++ b/internal/experiment/processes/live_test.go
@@ -88,11 +88,11 @@
 	}
 	set := &c.Site.Settings
 	return Options{Plan: s.Draw(1), Settings: deploy.Daemon, Daemon: self,
-		Judge: measure.Criteria{Classes: set.Classes, Tenants: set.Tenants, OverQuotaWeight: set.OverQuotaWeight, Goal: set.Goal, Prices: set.Prices}}
+		Criteria: measure.Criteria{Classes: set.Classes, Tenants: set.Tenants, OverQuotaWeight: set.OverQuotaWeight, Goal: set.Goal, Prices: set.Prices}}
 }
 
 // wanted counts the stories of a plan.
-func wanted(p *scenario.Plan) (n int64) {
+func plannedOperations(p *scenario.Plan) (n int64) {
 	for i := range p.Instances {
 		for next := p.Operations(i); ; n++ {
 			if _, ok := next(); !ok {
@@ -105,7 +105,7 @@
 
 // Whatever goes wrong at endpoints, every story that the plan has is begun and comes to its end, nothing takes effect twice,
 // and no client that waits is left without an answer.
-func TestPlaysAPlan(t *testing.T) {
+func TestRunCompletesEveryOperationDespiteFaults(t *testing.T) {
 	o := options(t, world+`
 [[event]]
 what = "kill"
@@ -132,7 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := wanted(o.Plan); got.Operations != want || want < 100 {
+	if want := plannedOperations(o.Plan); got.Operations != want || want < 100 {
 		t.Errorf("%d stories, the plan has %d", got.Operations, want)
 	}
 	if c := &got.Costs; c.DuplicateEffects > 0 || c.LateResponses > 0 || c.Collapses > 0 {
@@ -151,7 +151,7 @@
 }
 
 // A daemon that cannot start, or ends while it is wanted, is told at once. One that the plan kills comes back.
-func TestDaemonThatEnds(t *testing.T) {
+func TestRunReportsDaemonThatExitsUnexpectedly(t *testing.T) {
 	o := options(t, world)
 	o.Daemon = "/bin/false"
 	began := time.Now()
@@ -169,7 +169,7 @@
 }
 
 // A run that is ended leaves nothing behind.
-func TestEnded(t *testing.T) {
+func TestRunStopsWhenContextIsCancelled(t *testing.T) {
 	ctx, cancel := context.WithTimeoutCause(t.Context(), 1500*time.Millisecond, errors.New("enough"))
 	defer cancel()
 	if _, err := Run(ctx, options(t, world)); err == nil || err.Error() != "enough" {
--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/node.go
@@ -24,56 +24,56 @@
 
 // endpoint is an endpoint of a plan behind sockets: one listener for each instance, since the way from each is its own.
 type endpoint struct {
-	run  *run
-	n    int
-	plan *scenario.Endpoint
+	run   *run
+	index int
+	plan  *scenario.Endpoint
 
-	mu       *sync.Mutex // of its group
-	node     *simendpoint.Endpoint
-	timer    *time.Timer
-	due      monotime.Micros // when the next request ends
-	draining bool
-	mute     bool // its machine has vanished: it takes what comes, and says nothing
-	runs     int64
-	most     int
-	conns    map[net.Conn]struct{}
+	mu             *sync.Mutex // of its group
+	node           *simendpoint.Endpoint
+	timer          *time.Timer
+	nextCompletion monotime.Micros // when the next request ends
+	draining       bool
+	vanished       bool // its machine has vanished: it takes what comes, and says nothing
+	executions     int64
+	maxInFlight    int
+	conns          map[net.Conn]struct{}
 
-	doors  sync.Mutex // guards ln and http of fronts
-	fronts []*front
+	frontsMu sync.Mutex // guards ln and http of fronts
+	fronts   []*front
 }
 
 // front is where one instance finds the endpoint.
 type front struct {
-	e        *endpoint
+	endpoint *endpoint
 	instance int
 	addr     string
-	ln       *gate
+	listener *silenceableListener
 	http     *http.Server
 	done     chan struct{}
 }
 
 // waiting is a request that an endpoint holds.
-type waiting struct {
-	ended chan simendpoint.Completion
-	lost  chan struct{} // closed when its process dies
+type pendingJob struct {
+	ended  chan simendpoint.Completion
+	killed chan struct{} // closed when its process dies
 }
 
 func newEndpoint(r *run, n int) *endpoint {
 	p := &r.plan.Endpoints[n]
-	g := r.group(p.Cell)
-	e := &endpoint{run: r, n: n, plan: p, mu: &g.Mutex, node: simendpoint.New(p.Config, g.keys), conns: map[net.Conn]struct{}{}}
+	g := r.groupOf(p.Cell)
+	e := &endpoint{run: r, index: n, plan: p, mu: &g.Mutex, node: simendpoint.New(p.Config, g.keys), conns: map[net.Conn]struct{}{}}
 	e.node.Start(0, !p.StartsWithRun)
-	e.timer = time.AfterFunc(time.Hour, e.woken)
+	e.timer = time.AfterFunc(time.Hour, e.onTimer)
 	for i := range r.plan.Instances {
-		e.fronts = append(e.fronts, &front{e: e, instance: i})
+		e.fronts = append(e.fronts, &front{endpoint: e, instance: i})
 	}
 	return e
 }
 
 // listen opens the listeners, at the addresses that they had before.
 func (e *endpoint) listen() error {
-	e.doors.Lock()
-	defer e.doors.Unlock()
+	e.frontsMu.Lock()
+	defer e.frontsMu.Unlock()
 	for _, f := range e.fronts {
 		if f.addr == "" {
 			var err error
@@ -81,62 +81,62 @@
 				return err
 			}
 		}
-		ln, err := newGate(f.addr)
+		ln, err := newSilenceableListener(f.addr)
 		if err != nil {
 			return err
 		}
-		f.ln, f.done = ln, make(chan struct{})
-		f.http = &http.Server{Handler: f, IdleTimeout: time.Duration(e.plan.Idle) * time.Microsecond, ConnState: e.state}
+		f.listener, f.done = ln, make(chan struct{})
+		f.http = &http.Server{Handler: f, IdleTimeout: time.Duration(e.plan.Idle) * time.Microsecond, ConnState: e.onConnState}
 		go func() {
 			defer close(f.done)
 			f.http.Serve(ln)
 		}()
 	}
-	return e.hushLocked()
+	return e.applySilenceLocked()
 }
 
 // silent says whether nothing comes through between an instance and the endpoint, towards the endpoint or back.
-func (f *front) silent(back bool) bool {
-	e := f.e
+func (f *front) isSilenced(back bool) bool {
+	e := f.endpoint
 	e.mu.Lock()
-	mute := e.mute
+	mute := e.vanished
 	e.mu.Unlock()
 	now := e.run.now()
 	for i := range e.run.plan.PlannedEvents {
-		if e.run.plan.PlannedEvents[i].Blocks(now, f.instance, e.n, back) {
+		if e.run.plan.PlannedEvents[i].Blocks(now, f.instance, e.index, back) {
 			return true
 		}
 	}
-	return mute || e.run.cut(e.run.plan.Instances[f.instance].Zone, e.plan.Zone)
+	return mute || e.run.isPartitioned(e.run.plan.Instances[f.instance].Zone, e.plan.Zone)
 }
 
 // hush has the listeners be silent or not, as things stand.
-func (e *endpoint) hush() error {
-	e.doors.Lock()
-	defer e.doors.Unlock()
-	return e.hushLocked()
+func (e *endpoint) applySilence() error {
+	e.frontsMu.Lock()
+	defer e.frontsMu.Unlock()
+	return e.applySilenceLocked()
 }
 
-func (e *endpoint) hushLocked() error {
+func (e *endpoint) applySilenceLocked() error {
 	var g errgroup.Group
 	for _, f := range e.fronts {
 		if f.http != nil {
-			g.Go(func() error { return f.ln.silence(f.silent(false) || f.silent(true)) })
+			g.Go(func() error { return f.listener.setSilent(f.isSilenced(false) || f.isSilenced(true)) })
 		}
 	}
 	return g.Wait()
 }
 
 // state counts connections.
-func (e *endpoint) state(c net.Conn, s http.ConnState) {
+func (e *endpoint) onConnState(c net.Conn, s http.ConnState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch s {
 	case http.StateNew:
 		e.conns[c] = struct{}{}
-		e.run.count(func(c *counts) {
+		e.run.updateCounts(func(c *counts) {
 			c.dials++
-			e.run.arrived(e.n, measure.DialArrival)
+			e.run.recordArrival(e.index, measure.DialArrival)
 		})
 		e.node.Connect()
 	case http.StateClosed, http.StateHijacked:
@@ -154,8 +154,8 @@
 		}
 	}
 	e.mu.Unlock()
-	e.doors.Lock()
-	defer e.doors.Unlock()
+	e.frontsMu.Lock()
+	defer e.frontsMu.Unlock()
 	for _, f := range e.fronts {
 		if f.http != nil {
 			f.http.Close()
@@ -168,26 +168,26 @@
 // ---- The endpoint's life ------------------------------------------------------
 
 // work takes what has ended by now, and arms the timer for what ends next. The caller holds mu.
-func (e *endpoint) work() {
+func (e *endpoint) advance() {
 	now := e.run.now()
 	for _, x := range e.node.Advance(now) {
-		e.runs++
-		w := x.Job.HostData.(*waiting)
+		e.executions++
+		w := x.Job.HostData.(*pendingJob)
 		w.ended <- x // has room for one
 	}
 	if at, ok := e.node.NextCompletion(); ok {
-		e.due = at
-		e.timer.Reset(max(0, time.Duration(at-e.run.now())*time.Microsecond-coarse))
+		e.nextCompletion = at
+		e.timer.Reset(max(0, time.Duration(at-e.run.now())*time.Microsecond-timerGranularity))
 	}
 }
 
-func (e *endpoint) woken() {
+func (e *endpoint) onTimer() {
 	e.mu.Lock()
-	due := e.due
+	due := e.nextCompletion
 	e.mu.Unlock()
-	sleep(e.run.time(due))
+	sleepUntil(e.run.wallTime(due))
 	e.mu.Lock()
-	e.work()
+	e.advance()
 	stop := e.draining && e.node.Up() && e.node.InFlight() == 0
 	e.mu.Unlock()
 	if stop {
@@ -196,23 +196,23 @@
 }
 
 // set changes what goes wrong.
-func (e *endpoint) set(c simendpoint.Condition) {
+func (e *endpoint) setCondition(c simendpoint.Condition) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.work()
+	e.advance()
 	e.node.SetCondition(c)
-	e.work()
+	e.advance()
 }
 
 // pause stops it for a while.
 func (e *endpoint) pause(length monotime.Micros) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.work()
+	e.advance()
 	if e.node.Up() {
 		e.node.Pause(e.run.now(), length)
 	}
-	e.work()
+	e.advance()
 }
 
 // kill ends the process. Of a machine that vanishes nothing is heard any more, neither on its connections nor on new ones.
@@ -222,15 +222,15 @@
 		e.mu.Unlock()
 		return
 	}
-	e.work()
+	e.advance()
 	for _, j := range e.node.Kill(e.run.now()) {
-		close(j.HostData.(*waiting).lost)
+		close(j.HostData.(*pendingJob).killed)
 	}
-	e.draining, e.mute = false, silent
+	e.draining, e.vanished = false, silent
 	e.mu.Unlock()
 	if !silent {
 		e.close()
-	} else if err := e.hush(); err != nil {
+	} else if err := e.applySilence(); err != nil {
 		e.run.fail(err)
 	}
 }
@@ -248,7 +248,7 @@
 	if !up {
 		return
 	}
-	e.run.change(e.n, balancer.Draining, false)
+	e.run.announceState(e.index, balancer.Draining, false)
 	if empty {
 		e.stop()
 	}
@@ -256,7 +256,7 @@
 
 func (e *endpoint) stop() {
 	e.kill(false)
-	e.run.change(e.n, balancer.Gone, false)
+	e.run.announceState(e.index, balancer.Gone, false)
 }
 
 // start has it come up, cold.
@@ -266,7 +266,7 @@
 		e.mu.Unlock()
 		return nil
 	}
-	up, mute := e.node.Up(), e.mute
+	up, mute := e.node.Up(), e.vanished
 	e.mu.Unlock()
 	if up {
 		e.kill(false)
@@ -275,80 +275,80 @@
 		e.close()
 	}
 	e.mu.Lock()
-	e.mute, e.draining = false, false
+	e.vanished, e.draining = false, false
 	e.node.Start(e.run.now(), false)
 	e.mu.Unlock()
-	e.run.change(e.n, balancer.Ready, false)
+	e.run.announceState(e.index, balancer.Ready, false)
 	return e.listen()
 }
 
 // ---- Requests -------------------------------------------------------------------
 
 // way waits for as long as a message takes between an instance and the endpoint.
-func (f *front) way() {
-	p := f.e.run.plan
+func (f *front) networkDelay() {
+	p := f.endpoint.run.plan
 	mean := p.Network.Between.Duration
-	if p.Instances[f.instance].Zone == f.e.plan.Zone {
+	if p.Instances[f.instance].Zone == f.endpoint.plan.Zone {
 		mean = p.Network.Within.Duration
 	}
 	mean += time.Duration(p.Network.Jitter * rand.ExpFloat64() * float64(mean))
-	mean += time.Duration(p.ExtraDelay(f.e.run.now(), f.instance, f.e.n)) * time.Microsecond
-	sleep(time.Now().Add(mean))
+	mean += time.Duration(p.ExtraDelay(f.endpoint.run.now(), f.instance, f.endpoint.index)) * time.Microsecond
+	sleepUntil(time.Now().Add(mean))
 }
 
 // ServeHTTP takes a request or a probe.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e := f.e
-	f.way()
-	if f.silent(false) {
+	e := f.endpoint
+	f.networkDelay()
+	if f.isSilenced(false) {
 		_, _ = io.Copy(io.Discard, r.Body) // package http notices that its connection ends only once the body is read
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	if strings.HasPrefix(r.URL.Path, "/-/") {
-		f.probe(r.Context(), w)
+		f.serveProbe(r.Context(), w)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // it has not come whole, so it has not run
 	}
-	job, err := e.run.job(r)
+	job, err := e.run.parseJob(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	e.run.work.atWork(e.n)
-	e.run.count(func(c *counts) {
+	e.run.maintenance.countRequest(e.index)
+	e.run.updateCounts(func(c *counts) {
 		c.attempts++
-		if job.further {
-			e.run.arrived(e.n, measure.ExtraAttempt)
+		if job.retry {
+			e.run.recordArrival(e.index, measure.ExtraAttempt)
 		} else {
-			e.run.arrived(e.n, measure.FirstAttempt)
+			e.run.recordArrival(e.index, measure.FirstAttempt)
 		}
 		if e.run.plan.Instances[f.instance].Zone != e.plan.Zone {
-			c.cross++
+			c.crossZone++
 		}
 	})
-	wait := &waiting{make(chan simendpoint.Completion, 1), make(chan struct{})}
+	wait := &pendingJob{make(chan simendpoint.Completion, 1), make(chan struct{})}
 	job.Job.HostData = wait
 	e.mu.Lock()
-	e.work()
+	e.advance()
 	fell := e.node.Collapsed()
 	v := simendpoint.Rejected
 	if e.node.Up() {
 		v = e.node.Arrive(e.run.now(), &job.Job)
 	}
 	if !fell && e.node.Collapsed() {
-		e.run.count(func(c *counts) { c.falls++ })
+		e.run.updateCounts(func(c *counts) { c.collapses++ })
 	}
-	e.most = max(e.most, e.node.InFlight())
-	e.work()
+	e.maxInFlight = max(e.maxInFlight, e.node.InFlight())
+	e.advance()
 	e.mu.Unlock()
 	if v == simendpoint.Accepted {
-		v = f.wait(r.Context(), job, wait)
+		v = f.awaitJob(r.Context(), job, wait)
 	}
-	f.way()
-	if f.silent(true) {
+	f.networkDelay()
+	if f.isSilenced(true) {
 		v = simendpoint.Unanswered
 	}
 	switch v {
@@ -366,26 +366,26 @@
 }
 
 // wait waits for a request's end at the endpoint.
-func (f *front) wait(ctx context.Context, j *job, w *waiting) simendpoint.Verdict {
+func (f *front) awaitJob(ctx context.Context, j *job, w *pendingJob) simendpoint.Verdict {
 	select {
 	case x := <-w.ended:
-		f.e.run.ran(j, x)
+		f.endpoint.run.recordExecution(j, x)
 		return x.Verdict
-	case <-w.lost:
+	case <-w.killed:
 		panic(http.ErrAbortHandler) // the process died
 	case <-ctx.Done():
 	}
-	e := f.e
+	e := f.endpoint
 	e.mu.Lock()
 	gone := e.node.Cancel(e.run.now(), &j.Job)
-	e.work()
+	e.advance()
 	e.mu.Unlock()
 	if !gone { // it runs all the same
 		go func() {
 			select {
 			case x := <-w.ended:
-				e.run.ran(j, x)
-			case <-w.lost:
+				e.run.recordExecution(j, x)
+			case <-w.killed:
 			}
 		}()
 	}
@@ -393,24 +393,24 @@
 }
 
 // probe answers with a load report.
-func (f *front) probe(ctx context.Context, w http.ResponseWriter) {
-	e := f.e
-	e.run.count(func(c *counts) {
+func (f *front) serveProbe(ctx context.Context, w http.ResponseWriter) {
+	e := f.endpoint
+	e.run.updateCounts(func(c *counts) {
 		c.probes++
-		e.run.arrived(e.n, measure.ProbeArrival)
+		e.run.recordArrival(e.index, measure.ProbeArrival)
 	})
 	e.mu.Lock()
-	e.work()
-	l := e.node.Probe(e.run.now(), e.run.reports)
+	e.advance()
+	l := e.node.Probe(e.run.now(), e.run.reportRand)
 	e.mu.Unlock()
 	values := map[balancer.LoadMetric]float64{balancer.MetricInflight: l.Inflight, balancer.MetricQueueLength: l.Queue, balancer.MetricUtilization: l.Util,
 		balancer.MetricLatency: l.LatencyMS, balancer.MetricServedRate: l.Served, balancer.MetricErrorRate: l.Errors}
 	var parts []string
-	for i, name := range e.run.fieldNames() {
+	for i, name := range e.run.reportFields() {
 		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(values[e.run.site.Settings.LoadMetrics[i]], 'f', 4, 64)))
 	}
-	f.way()
-	if f.silent(true) {
+	f.networkDelay()
+	if f.isSilenced(true) {
 		<-ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/experiment/processes/sidecar.go
+++ b/internal/experiment/processes/sidecar.go
@@ -22,7 +22,7 @@
 }
 
 // sidecarFile is an instance's configuration as the platform writes it.
-func (r *run) sidecarFile(in *instance) ([]byte, error) {
+func (r *run) sidecarConfig(in *instance) ([]byte, error) {
 	s := &r.site.Settings
 	var classes, tenants []any
 	for _, c := range s.Classes {
@@ -43,12 +43,12 @@
 	}
 	zone := 0
 	for i, z := range r.site.Zones {
-		if z == r.plan.Fleet.Zones[r.plan.Instances[in.n].Zone] {
+		if z == r.plan.Fleet.Zones[r.plan.Instances[in.index].Zone] {
 			zone = i
 		}
 	}
 	settings := map[string]any{
-		"peers-total": len(r.plan.Instances), "position": in.n, "zone": zone, "areas": r.site.Zones, "skus": r.site.Kinds, "discovery": mode,
+		"peers-total": len(r.plan.Instances), "position": in.index, "zone": zone, "areas": r.site.Zones, "skus": r.site.Kinds, "discovery": mode,
 		"classes": classes, "tenants": tenants, "over-share-worth": s.OverQuotaWeight,
 		"limits": map[string]any{"cancel": s.Limits.Cancel, "probes": s.Limits.Probes, "second-copies": s.Limits.Hedging,
 			"retry-after": s.Limits.RetryAfter, "most-tries": s.Limits.MaxAttempts, "most-held": s.Limits.MaxOpenRequests,
@@ -58,16 +58,16 @@
 		"prices": map[string]any{"cross-zone": s.Prices.CrossZone, "probe": s.Prices.Probe, "waste": s.Prices.Waste, "late-fail": s.Prices.LateFail},
 		"goal": map[string]any{"whole": s.Goal.Overall, "worst-window": s.Goal.WorstWindow, "worst-class": s.Goal.WorstClass,
 			"worst-tenant": s.Goal.WorstTenant},
-		"reporting": map[string]any{"how": "probe", "fields": r.fieldNames()},
+		"reporting": map[string]any{"how": "probe", "fields": r.reportFields()},
 	}
-	known := discovery.List{Generation: 1, Reset: true, Instances: r.entries(in.n)} // as the platform has it
-	return json.Marshal(map[string]any{"known": known, "name": fmt.Sprint("instance-", in.n), "listen": in.addrs[0], "discovery": in.roster.Addr,
-		"seed": fmt.Sprintf("%x", r.plan.Seed<<16|uint64(in.n)), "limits": map[string]any{"memory_mb": 96, "sockets": 1024}, "settings": settings})
+	known := discovery.List{Generation: 1, Reset: true, Instances: r.discoveryEntries(in.index)} // as the platform has it
+	return json.Marshal(map[string]any{"known": known, "name": fmt.Sprint("instance-", in.index), "listen": in.listenAddrs[0], "discovery": in.discovery.Addr,
+		"seed": fmt.Sprintf("%x", r.plan.Seed<<16|uint64(in.index)), "limits": map[string]any{"memory_mb": 96, "sockets": 1024}, "settings": settings})
 }
 
 // fieldNames are the figures of a load report as the instances know them.
-func (r *run) fieldNames() []string {
-	if !isSidecar(r.o.Daemon) {
+func (r *run) reportFields() []string {
+	if !isSidecar(r.options.Daemon) {
 		return r.site.LoadReportFields
 	}
 	var names []string
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -37,7 +37,7 @@
 	run      *run
 	from, to int
 	addr     string // where the one finds the other
-	at       string // and where that is
+	target   string // and where that is
 	udp      net.PacketConn
 	tcp      net.Listener
 	done     sync.WaitGroup
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	y := &relay{run: r, from: from, to: to, addr: addr, at: r.peers[to], conns: map[net.Conn]struct{}{}}
+	y := &relay{run: r, from: from, to: to, addr: addr, target: r.peerAddrs[to], conns: map[net.Conn]struct{}{}}
 	if y.tcp, err = net.Listen("tcp", addr); err != nil {
 		return nil, err
 	}
@@ -59,19 +59,19 @@
 		y.tcp.Close()
 		return nil, err
 	}
-	y.done.Go(y.packets)
-	y.done.Go(y.streams)
+	y.done.Go(y.relayPackets)
+	y.done.Go(y.acceptStreams)
 	return y, nil
 }
 
 // passes says whether anything gets from the one to the other now.
-func (y *relay) passes() bool {
+func (y *relay) isOpen() bool {
 	p := y.run.plan
-	return !p.Partitioned(y.run.now(), y.from, y.to) && !y.run.cut(p.Instances[y.from].Zone, p.Instances[y.to].Zone)
+	return !p.Partitioned(y.run.now(), y.from, y.to) && !y.run.isPartitioned(p.Instances[y.from].Zone, p.Instances[y.to].Zone)
 }
 
-func (y *relay) packets() {
-	out, err := net.Dial("udp", y.at)
+func (y *relay) relayPackets() {
+	out, err := net.Dial("udp", y.target)
 	if err != nil {
 		y.run.fail(err)
 		return
@@ -83,7 +83,7 @@
 		if err != nil {
 			return
 		}
-		if !y.passes() {
+		if !y.isOpen() {
 			continue
 		}
 		more, twice := y.run.plan.MessageDelay(y.run.now(), y.from, [3]float64{rand.Float64(), rand.Float64(), rand.Float64()})
@@ -92,53 +92,53 @@
 			continue
 		}
 		text := bytes.Clone(b[:n])
-		y.later(more, func() { _, _ = out.Write(text) })
+		y.sendAfter(more, func() { _, _ = out.Write(text) })
 		if twice {
-			y.later(monotime.Micros(rand.Float64()*float64(more)), func() { _, _ = out.Write(text) })
+			y.sendAfter(monotime.Micros(rand.Float64()*float64(more)), func() { _, _ = out.Write(text) })
 		}
 	}
 }
 
-func (y *relay) streams() {
+func (y *relay) acceptStreams() {
 	for {
 		c, err := y.tcp.Accept()
 		if err != nil {
 			return
 		}
-		y.done.Go(func() { y.stream(c) })
+		y.done.Go(func() { y.relayStream(c) })
 	}
 }
 
 // later does something after a while, unless the run is over by then.
-func (y *relay) later(after monotime.Micros, do func()) {
+func (y *relay) sendAfter(after monotime.Micros, do func()) {
 	time.AfterFunc(time.Duration(after)*time.Microsecond, do)
 }
 
 // stream takes a connection on. Where nothing passes it hears nothing, as its caller would on a way that is cut.
-func (y *relay) stream(c net.Conn) {
-	y.keep(c)
-	defer y.drop(c)
-	if !y.passes() {
+func (y *relay) relayStream(c net.Conn) {
+	y.addConn(c)
+	defer y.closeConn(c)
+	if !y.isOpen() {
 		_, _ = io.Copy(io.Discard, c) // until its end
 		return
 	}
-	to, err := net.DialTimeout("tcp", y.at, time.Second)
+	to, err := net.DialTimeout("tcp", y.target, time.Second)
 	if err != nil {
 		return
 	}
-	y.keep(to)
-	defer y.drop(to)
+	y.addConn(to)
+	defer y.closeConn(to)
 	var both sync.WaitGroup
-	both.Go(func() { y.copy(to, c) })
-	both.Go(func() { y.copy(c, to) })
+	both.Go(func() { y.copyWhileOpen(to, c) })
+	both.Go(func() { y.copyWhileOpen(c, to) })
 	both.Wait()
 }
 
-func (y *relay) copy(to, from net.Conn) {
+func (y *relay) copyWhileOpen(to, from net.Conn) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
-		if n > 0 && y.passes() {
+		if n > 0 && y.isOpen() {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
@@ -150,13 +150,13 @@
 	}
 }
 
-func (y *relay) keep(c net.Conn) {
+func (y *relay) addConn(c net.Conn) {
 	y.mu.Lock()
 	y.conns[c] = struct{}{}
 	y.mu.Unlock()
 }
 
-func (y *relay) drop(c net.Conn) {
+func (y *relay) closeConn(c net.Conn) {
 	c.Close()
 	y.mu.Lock()
 	delete(y.conns, c)
@@ -175,8 +175,8 @@
 }
 
 // together makes the addresses of instances that know of one another, and the relays between them.
-func (r *run) together() error {
-	if !r.own.Peers.On || isSidecar(r.o.Daemon) {
+func (r *run) setUpPeers() error {
+	if !r.config.Peers.On || isSidecar(r.options.Daemon) {
 		return nil
 	}
 	for range r.plan.Instances {
@@ -184,16 +184,16 @@
 		if err != nil {
 			return err
 		}
-		r.peers = append(r.peers, addr)
+		r.peerAddrs = append(r.peerAddrs, addr)
 	}
-	parted := false
+	partitioned := false
 	for i := range r.plan.PlannedEvents {
 		what := r.plan.PlannedEvents[i].What
-		parted = parted || what == "part" || what == "cut" || what == "late-words"
+		partitioned = partitioned || what == "part" || what == "cut" || what == "late-words"
 	}
 	for i := range r.plan.Instances {
 		for j := range r.plan.Instances {
-			if parted && i != j {
+			if partitioned && i != j {
 				y, err := r.newRelay(i, j)
 				if err != nil {
 					return err
@@ -206,34 +206,34 @@
 }
 
 // peersTable is an instance's, of its file.
-func (r *run) peersTable(in *instance, of map[string]any) map[string]any {
-	lenders := simulation.QuotaCandidates(r.own.Peers.Allocators, len(r.plan.Instances))
+func (r *run) fillPeersTable(in *instance, of map[string]any) map[string]any {
+	lenders := simulation.QuotaCandidates(r.config.Peers.Allocators, len(r.plan.Instances))
 	var join, ways []any
-	for i, addr := range r.peers {
-		if i != in.n && i < len(lenders) {
+	for i, addr := range r.peerAddrs {
+		if i != in.index && i < len(lenders) {
 			join = append(join, addr)
 		}
 	}
 	for _, y := range r.relays {
-		if y.from == in.n {
-			ways = append(ways, r.peers[y.to]+"="+y.addr)
+		if y.from == in.index {
+			ways = append(ways, r.peerAddrs[y.to]+"="+y.addr)
 		}
 	}
 	of["lenders"] = lenders
-	of["address"], of["join"], of["ways"] = r.peers[in.n], join, ways
+	of["address"], of["join"], of["ways"] = r.peerAddrs[in.index], join, ways
 	return of
 }
 
 // limits says whether tenants have limits that daemons hold.
-func (r *run) limits() bool {
-	return !isSidecar(r.o.Daemon) && slices.ContainsFunc(r.own.Tenants, func(t config.Tenant) bool { return t.RateLimit > 0 })
+func (r *run) hasTenantLimits() bool {
+	return !isSidecar(r.options.Daemon) && slices.ContainsFunc(r.config.Tenants, func(t config.Tenant) bool { return t.RateLimit > 0 })
 }
 
-func (r *run) spentPath(n int) string { return filepath.Join(r.dir, fmt.Sprintf("spent-%d", n)) }
+func (r *run) spentPath(n int) string { return filepath.Join(r.workDir, fmt.Sprintf("spent-%d", n)) }
 
 // spent takes in what all processes spent, by the host's clock that they all read.
-func (r *run) spent() error {
-	if !r.limits() {
+func (r *run) readSpent() error {
+	if !r.hasTenantLimits() {
 		return nil
 	}
 	zero := clock.BootTime() - r.now()
@@ -256,7 +256,7 @@
 }
 
 // liars is how many instances that serve nobody this run has beside its own.
-func (r *run) liars() (n int) {
+func (r *run) misreporterCount() (n int) {
 	for i := range r.plan.PlannedEvents {
 		n += map[bool]int{true: 1}[r.plan.PlannedEvents[i].What == "liar"]
 	}
@@ -264,8 +264,8 @@
 }
 
 // lie has one more instance be among the others, which says that it wants so many times what nobody asks it for, until stop.
-func (r *run) lie(times float64) (stop func(), err error) {
-	t := r.own.Coordination(1)
+func (r *run) startMisreporter(times float64) (stop func(), err error) {
+	t := r.config.Coordination(1)
 	if t == nil {
 		return nil, errors.New("a liar needs instances that know of one another")
 	}
@@ -274,16 +274,16 @@
 		return nil, err
 	}
 	f := t.Settings
-	f.Self, f.Candidates, f.Quota.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.QuotaCandidates(f.Candidates, len(r.plan.Instances)), len(r.plan.Instances)+r.liars()
+	f.Self, f.Candidates, f.Quota.MaxInstances = fmt.Sprint("instance-", len(r.plan.Instances)), simulation.QuotaCandidates(f.Candidates, len(r.plan.Instances)), len(r.plan.Instances)+r.misreporterCount()
 	m, err := coordination.New(f)
 	if err != nil {
 		return nil, err
 	}
-	for _, tenant := range r.own.Tenants {
+	for _, tenant := range r.config.Tenants {
 		m.SetBudget("tenant/"+tenant.Name, tenant.RateLimit, false)
 	}
 	var mu sync.Mutex // guards m
-	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.own.Peers.Fleet, Address: addr, Join: r.peers[:len(f.Candidates)], Log: slog.New(slog.DiscardHandler),
+	p, err := peers.Start(peers.Options{Name: f.Self, Fleet: r.config.Peers.Fleet, Address: addr, Join: r.peerAddrs[:len(f.Candidates)], Log: slog.New(slog.DiscardHandler),
 		HandleMessage: func(from string, w coordination.Message) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -326,17 +326,17 @@
 }
 
 // relimit has instances read their files again, with so many times the tenants' limits.
-func (r *run) relimit(instances []int, times float64) {
+func (r *run) scaleTenantLimits(instances []int, times float64) {
 	for _, n := range instances {
 		in := r.instances[n]
-		text, err := r.file(in)
+		text, err := r.daemonConfig(in)
 		if err == nil {
 			var doc map[string]any
 			if err = toml.Unmarshal(text, &doc); err == nil {
 				tenants, _ := doc["tenant"].([]any)
 				for _, t := range tenants {
 					if table, _ := t.(map[string]any); table["limit"] != nil {
-						for _, tenant := range r.own.Tenants {
+						for _, tenant := range r.config.Tenants {
 							if tenant.Name == table["name"] {
 								table["limit"] = max(1, times*tenant.RateLimit)
 							}
@@ -344,7 +344,7 @@
 					}
 				}
 				if text, err = toml.Marshal(doc); err == nil {
-					err = os.WriteFile(in.config, text, 0o600)
+					err = os.WriteFile(in.configPath, text, 0o600)
 				}
 			}
 		}
