Split the validation of pools and routes

Two functions of 70 lines are now one for pools, patterns, the table, value sources and limits, in the same order. go test -race ./internal/config: ok.

--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -108,10 +108,10 @@
 	WriteClass = "write"
 )
 
-// Forwarding are the words for what endpoints are told of clients.
+// ForwardedModes are the values of Route.Forwarded.
 var ForwardedModes = []string{"as-is", "none", "x-forwarded", "rfc7239"}
 
-// fill gives routes and pools what they mean without a key. The library has set what stands in the file.
+// setRouteDefaults sets what the file leaves out, if it has routes.
 func (c *Config) setRouteDefaults() {
 	if len(c.Routes) == 0 {
 		return
@@ -140,9 +140,12 @@
 				size.Bytes = without
 			}
 		}
-		for time, without := range map[*stricttoml.Duration]stricttoml.Duration{&r.IdleTimeout: {Duration: 30 * time.Second}, &r.TotalTimeout: {Duration: 10 * time.Minute}} {
-			if time.Duration == 0 {
-				*time = without
+		for timeout, without := range map[*stricttoml.Duration]time.Duration{
+			&r.IdleTimeout:  30 * time.Second,
+			&r.TotalTimeout: 10 * time.Minute,
+		} {
+			if timeout.Duration == 0 {
+				timeout.Duration = without
 			}
 		}
 		if r.ErrorStatuses == nil {
@@ -161,39 +164,16 @@
 	return s
 }
 
-// HoldMost is the most that may be held of a body or an answer.
+// MaxHeldBytes bounds what may be held of a request's or response's body.
 const MaxHeldBytes = 1 << 20
 
-// routes checks pools and routes, and makes the table.
+// routes validates pools and routes, and makes the table of routes.
 func (k *validator) routes(c *Config) {
 	stricttoml.Enum(&k.Validation, "paths.encoded_slash", c.Paths.EncodedSlash,
 		map[string]bool{"refuse": true, "keep": true})
 	pools := map[string]bool{}
 	for i := range c.Pools {
-		p := &c.Pools[i]
-		at := func(key string) string { return fmt.Sprintf("pool.%d.%s", i, key) }
-		k.Require(p.Name != "", at("name"), "is missing")
-		k.Require(!pools[p.Name], at("name"), "%q is named twice", p.Name)
-		pools[p.Name] = true
-		sources := 0
-		for _, is := range []bool{p.Endpoints != nil, p.File != "", p.Discovery != ""} {
-			if is {
-				sources++
-			}
-		}
-		k.Require(sources == 1, at("endpoints"), "exactly one of endpoints, file and discovery must be given, not %d",
-			sources)
-		if p.Endpoints != nil {
-			for j, address := range *p.Endpoints {
-				k.Require(hostPort(address, 1), at("endpoints"), "%q is no host:port with a port in 1..65535", address)
-				k.Require(!slices.Contains((*p.Endpoints)[:j], address), at("endpoints"), "%q is named twice", address)
-			}
-		}
-		k.Require(p.Discovery == "" || hostPort(p.Discovery, 1), at("discovery"),
-			"%q is no host:port with a port in 1..65535", p.Discovery)
-		k.Require(p.RetryBudget >= 0 && p.RetryBudget <= 10, at("retry_budget"), "%v: must be in 0..10", p.RetryBudget)
-		k.Require(p.Least() == 0 || p.Least() >= 1 && p.Least() <= 1000, at("retry_least"),
-			"%v: must be 0 or in 1..1000: a part of a try is none", p.Least())
+		k.pool(&c.Pools[i], i, pools)
 	}
 	k.Require(len(c.Pools) == 0 || len(c.Routes) > 0, "pool", "no route leads to a pool: there is no table [[route]]")
 	if len(c.Routes) == 0 {
@@ -205,43 +185,87 @@
 	var patterns []route.Pattern
 	for i := range c.Routes {
 		k.route(c, i, pools, names)
-		r := &c.Routes[i]
-		p := route.Pattern{Host: r.Host, Path: r.Path, Methods: r.Methods}
-		for name, value := range r.Headers {
-			p.Headers = append(p.Headers, route.Header{Name: http.CanonicalHeaderKey(name), Value: value})
+		patterns = append(patterns, c.Routes[i].pattern())
+	}
+	c.Table = k.routeTable(patterns)
+	for i := range c.Routes {
+		for key, source := range c.Routes[i].valueSources() {
+			if name, ok := strings.CutPrefix(*source, "path:"); ok && c.Table != nil {
+				_, known := c.Table.ParameterIndex(i, name)
+				k.Require(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
+			}
 		}
-		slices.SortFunc(p.Headers, func(a, b route.Header) int { return strings.Compare(a.Name, b.Name) })
-		patterns = append(patterns, p)
 	}
+}
+
+// pool validates the pool of an index. names are those of the pools before it.
+func (k *validator) pool(p *Pool, i int, names map[string]bool) {
+	at := func(key string) string { return fmt.Sprintf("pool.%d.%s", i, key) }
+	k.Require(p.Name != "", at("name"), "is missing")
+	k.Require(!names[p.Name], at("name"), "%q is named twice", p.Name)
+	names[p.Name] = true
+	sources := 0
+	for _, is := range []bool{p.Endpoints != nil, p.File != "", p.Discovery != ""} {
+		if is {
+			sources++
+		}
+	}
+	k.Require(sources == 1, at("endpoints"), "exactly one of endpoints, file and discovery must be given, not %d",
+		sources)
+	if p.Endpoints != nil {
+		for j, address := range *p.Endpoints {
+			k.Require(hostPort(address, 1), at("endpoints"), "%q is no host:port with a port in 1..65535", address)
+			k.Require(!slices.Contains((*p.Endpoints)[:j], address), at("endpoints"), "%q is named twice", address)
+		}
+	}
+	k.Require(p.Discovery == "" || hostPort(p.Discovery, 1), at("discovery"),
+		"%q is no host:port with a port in 1..65535", p.Discovery)
+	k.Require(p.RetryBudget >= 0 && p.RetryBudget <= 10, at("retry_budget"), "%v: must be in 0..10", p.RetryBudget)
+	k.Require(p.Least() == 0 || p.Least() >= 1 && p.Least() <= 1000, at("retry_least"),
+		"%v: must be 0 or in 1..1000: a part of a try is none", p.Least())
+}
+
+// pattern returns which requests the route takes.
+func (r *Route) pattern() route.Pattern {
+	p := route.Pattern{Host: r.Host, Path: r.Path, Methods: r.Methods}
+	for name, value := range r.Headers {
+		p.Headers = append(p.Headers, route.Header{Name: http.CanonicalHeaderKey(name), Value: value})
+	}
+	slices.SortFunc(p.Headers, func(a, b route.Header) int { return strings.Compare(a.Name, b.Name) })
+	return p
+}
+
+// routeTable returns the table of routes, nil if a pattern is invalid or two contradict each other.
+func (k *validator) routeTable(patterns []route.Pattern) *route.Table {
 	table, err := route.New(patterns)
-	var bad *route.PatternError
+	var invalid *route.PatternError
 	var conflict *route.ConflictError
 	switch {
-	case errors.As(err, &bad):
-		key := map[string]string{"method": "methods", "header": "headers"}[bad.Key]
-		k.Require(false, fmt.Sprintf("route.%d.%s", bad.Index, orDefault(key, bad.Key)), "%s", bad.Reason)
+	case errors.As(err, &invalid):
+		key := map[string]string{"method": "methods", "header": "headers"}[invalid.Key]
+		k.Require(false, fmt.Sprintf("route.%d.%s", invalid.Index, orDefault(key, invalid.Key)), "%s", invalid.Reason)
 	case errors.As(err, &conflict):
-		k.Require(false, fmt.Sprintf("route.%d",
-			conflict.Second), "can take the same request as the route on line %d, and neither is more specific",
+		k.Require(false, fmt.Sprintf("route.%d", conflict.Second),
+			"can take the same request as the route on line %d, and neither is more specific",
 			k.Lines[fmt.Sprintf("route.%d", conflict.First)])
 	}
-	c.Table = table
-	for i := range c.Routes {
-		for key, source := range c.Routes[i].valueSources() {
-			if name, ok := strings.CutPrefix(*source, "path:"); ok && table != nil {
-				_, known := table.ParameterIndex(i, name)
-				k.Require(known, fmt.Sprintf("route.%d.%s", i, key), "the path has no part {%s}", name)
-			}
-		}
-	}
+	return table
 }
 
 func (r *Route) valueSources() map[string]*string {
-	return map[string]*string{"tenant": &r.Tenant, "object": &r.Object, "key": &r.Key, "id": &r.ID, "deadline": &r.Deadline}
+	return map[string]*string{
+		"tenant":   &r.Tenant,
+		"object":   &r.Object,
+		"key":      &r.Key,
+		"id":       &r.ID,
+		"deadline": &r.Deadline,
+	}
 }
 
-// own are fields that no edit may touch: they are the program's to set.
-var reservedHeaders = []string{"Connection", "Content-Length", "Transfer-Encoding", "Host", "Te", "Trailer", "Upgrade", "Keep-Alive"}
+// reservedHeaders are set by the program: no edit may change them.
+var reservedHeaders = []string{
+	"Connection", "Content-Length", "Transfer-Encoding", "Host", "Te", "Trailer", "Upgrade", "Keep-Alive",
+}
 
 func (k *validator) route(c *Config, i int, pools, names map[string]bool) {
 	r := &c.Routes[i]
@@ -261,6 +285,35 @@
 		}
 		k.Require(c.Classes[j].Idempotency != "keyed" || r.Key != "", at("key"), "is missing: class %q is keyed", name)
 	}
+	k.valueSources(r, at)
+	for name := range r.Headers {
+		k.Require(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
+	}
+	k.routeLimits(r, at)
+	k.Require(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
+	k.Require(r.StripPrefix == "" || r.prefixIsStrippable(), at("strip_prefix"),
+		"%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
+	if r.AddPrefix != "" {
+		normal, err := route.NormalizePath(r.AddPrefix, route.KeepEncodedSlashes)
+		k.Require(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
+			"%q is no path in normal form without a / at its end", r.AddPrefix)
+	}
+	stricttoml.Enum(&k.Validation, at("forwarded"), r.Forwarded,
+		map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
+	k.Require(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"),
+		"means nothing with forwarded = %q", r.Forwarded)
+	for key, e := range map[string]*HeaderEdits{"request": &r.Request, "answer": &r.Response} {
+		k.edits(at(key), e)
+	}
+	for key, source := range map[string]string{"key": r.Key, "id": r.ID, "deadline": r.Deadline} {
+		name, _ := strings.CutPrefix(source, "header:")
+		k.Require(name == "" || !r.Request.touches(name), at("request"),
+			"%s, which %s names, must reach the endpoint as it is", name, key)
+	}
+}
+
+// valueSources validates where the values of a route's requests come from.
+func (k *validator) valueSources(r *Route, at func(string) string) {
 	for key, source := range r.valueSources() {
 		name, header := strings.CutPrefix(*source, "header:")
 		_, path := strings.CutPrefix(*source, "path:")
@@ -278,9 +331,10 @@
 			k.Require(false, at(key), "%q is none of \"header:NAME\", \"path:NAME\", \"client\", \"=NAME\"", *source)
 		}
 	}
-	for name := range r.Headers {
-		k.Require(http1msg.IsToken(name), at("headers"), "%q is no name of a header", name)
-	}
+}
+
+// routeLimits validates the limits of a route.
+func (k *validator) routeLimits(r *Route, at func(string) string) {
 	k.Require(r.MaxAttempts >= 0, at("tries"), "%d is negative", r.MaxAttempts)
 	for key, size := range map[string]stricttoml.Size{"body_hold": r.MaxBodyHeld, "answer_hold": r.MaxResponseHeld} {
 		k.Require(size.Bytes <= MaxHeldBytes, at(key), "over 1MiB: what is larger streams")
@@ -294,34 +348,14 @@
 			k.Require(code >= 400 && code < 600, at(key), "%d is no status in 400..599", code)
 		}
 	}
-	k.Require(r.ToHost == "" || !strings.ContainsAny(r.ToHost, " /?#@"), at("to_host"), "%q is no host", r.ToHost)
-	k.Require(r.StripPrefix == "" || r.prefixIsStrippable(), at("strip_prefix"),
-		"%q is no beginning, in whole segments, of path %q", r.StripPrefix, r.Path)
-	if r.AddPrefix != "" {
-		normal, err := route.NormalizePath(r.AddPrefix, route.KeepEncodedSlashes)
-		k.Require(err == nil && normal == r.AddPrefix && !strings.HasSuffix(normal, "/"), at("add_prefix"),
-			"%q is no path in normal form without a / at its end", r.AddPrefix)
-	}
-	stricttoml.Enum(&k.Validation, at("forwarded"), r.Forwarded,
-		map[string]bool{"as-is": true, "none": true, "x-forwarded": true, "rfc7239": true})
-	k.Require(!r.Trusted || r.Forwarded == "x-forwarded" || r.Forwarded == "rfc7239", at("trusted"),
-		"means nothing with forwarded = %q", r.Forwarded)
-	for key, e := range map[string]*HeaderEdits{"request": &r.Request, "answer": &r.Response} {
-		k.edits(at(key), e)
-	}
-	for key, source := range map[string]string{"key": r.Key, "id": r.ID, "deadline": r.Deadline} {
-		name, _ := strings.CutPrefix(source, "header:")
-		k.Require(name == "" || !r.Request.touches(name), at("request"),
-			"%s, which %s names, must reach the endpoint as it is", name, key)
-	}
 }
 
-// stripped says whether the prefix is one of all paths that the route takes.
+// prefixIsStrippable reports whether all paths that the route takes start with StripPrefix.
 func (r *Route) prefixIsStrippable() bool {
 	rest, ok := strings.CutPrefix(r.Path, r.StripPrefix)
-	return ok && strings.HasPrefix(r.StripPrefix,
-		"/") && !strings.HasSuffix(r.StripPrefix, "/") && !strings.ContainsAny(r.StripPrefix, "{*") &&
-		(rest == "" || rest[0] == '/')
+	onSegments := strings.HasPrefix(r.StripPrefix, "/") && !strings.HasSuffix(r.StripPrefix, "/")
+	fixed := !strings.ContainsAny(r.StripPrefix, "{*")
+	return ok && onSegments && fixed && (rest == "" || rest[0] == '/')
 }
 
 // touches says whether a header is changed.
