--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -7,81 +7,94 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// defaults are what a file that says nothing means. deploy/dunlinsaild.toml states them.
+// seconds returns a duration of whole seconds.
+func seconds(n int) stricttoml.Duration {
+	return stricttoml.Duration{Duration: time.Duration(n) * time.Second}
+}
+
+// millis returns a duration of whole milliseconds.
+func millis(n int) stricttoml.Duration {
+	return stricttoml.Duration{Duration: time.Duration(n) * time.Millisecond}
+}
+
+// defaults returns the configuration of an empty file. deploy/dunlinsaild.toml states the same values.
 func defaults() Config {
 	return Config{
-		Name:      "dunlinsaild",
-		Process:   Process{Memory: stricttoml.Size{Bytes: 256 << 20}, Descriptors: 4096},
-		Discovery: Discovery{Mode: "watch"},
-		Takeover: Takeover{
-			ReadyWithin: stricttoml.Duration{Duration: 10 * time.Second},
-			DrainWithin: stricttoml.Duration{Duration: 5 * time.Second},
-		},
-		AccessLog: AccessLog{
-			SampleRate:  1,
-			SegmentRows: 20_000,
-			SegmentAge:  stricttoml.Duration{Duration: 10 * time.Second},
-			MaxBytes:    stricttoml.Size{Bytes: 1 << 30},
-		},
-		ControlPlane: ControlPlane{Pinned: []string{
-			"listener",
-			"fleet.zone",
-			"fleet.position",
-		}, CanaryDuration: stricttoml.Duration{Duration: 30 * time.Second}, HarmMargin: 0.01, Alpha: 0.001,
-			MinValidationInterval: stricttoml.Duration{
-				Duration: time.Second,
-			}, MaxResponseSize: stricttoml.Size{Bytes: 4 << 20}, MaxBackoff: stricttoml.Duration{
-				Duration: 30 * time.Second,
-			}},
-		Connections: Connections{
-			MaxIdleTime: stricttoml.Duration{Duration: 15 * time.Second},
-			MinIdleTime: stricttoml.Duration{Duration: 100 * time.Millisecond},
-		},
-		Requests: Requests{MaxOpen: 2000, MinInFlight: 4, MaxInFlight: 1000},
-		Fleet: Fleet{
-			Instances:       1,
-			KeepAlive:       stricttoml.Duration{Duration: 15 * time.Second},
-			OverShareWeight: 1,
-			WeightBy:        "request",
-		},
+		Name:         "dunlinsaild",
+		Process:      Process{Memory: stricttoml.Size{Bytes: 256 << 20}, Descriptors: 4096},
+		Discovery:    Discovery{Mode: "watch"},
+		Takeover:     Takeover{ReadyWithin: seconds(10), DrainWithin: seconds(5)},
+		AccessLog:    defaultAccessLog(),
+		ControlPlane: defaultControlPlane(),
+		Connections:  Connections{MaxIdleTime: seconds(15), MinIdleTime: millis(100)},
+		Requests:     Requests{MaxOpen: 2000, MinInFlight: 4, MaxInFlight: 1000},
+		Fleet:        Fleet{Instances: 1, KeepAlive: seconds(15), OverShareWeight: 1, WeightBy: "request"},
 		Attempts: Attempts{
 			MaxAttempts:    3,
 			Cancel:         true,
 			HedgedRequests: true,
 			RetryBudget:    balancer.DefaultRetryRatio,
-			DialTimeout:    stricttoml.Duration{Duration: 250 * time.Millisecond},
+			DialTimeout:    millis(250),
 		},
-		Rejections: Rejections{RetryAfter: true, MaxRetryAfter: stricttoml.Duration{Duration: time.Second}},
-		Probes:     Probes{Report: "none"},
-		Overload:   defaultOverload(),
-		Peers: Peers{Fleet: "dunlinsail", CoordinatedUses: []string{
-			"further",
-			"probes",
-			"tenants",
-			"level",
-			"suspects",
-		}, QuotaLease: stricttoml.Duration{Duration: 2 * time.Second},
-			LeaseRequestInterval: stricttoml.Duration{
-				Duration: 250 * time.Millisecond,
-			}, LeaderLease: stricttoml.Duration{Duration: time.Second}, ReserveFraction: 0.1, MaxClockDrift: 0.005},
-		Maintenance: Maintenance{
-			MaxOut:          1,
-			MaxPerZone:      1,
-			MaxPerCell:      1,
-			Announced:       4,
-			CapacityReserve: 0.2,
-			Lease:           stricttoml.Duration{Duration: 2 * time.Second},
-			QuietPeriod:     stricttoml.Duration{Duration: 5 * time.Second},
+		Rejections:  Rejections{RetryAfter: true, MaxRetryAfter: seconds(1)},
+		Probes:      Probes{Report: "none"},
+		Overload:    defaultOverload(),
+		Peers:       defaultPeers(),
+		Maintenance: defaultMaintenance(),
+		Rules: Rules{
+			DrainGrace:     millis(250),
+			WarmupStart:    0.2,
+			WarmupDuration: seconds(20),
+			FallMultiple:   2.5,
+			FallAfter:      seconds(2),
+			PollWithin:     seconds(10),
 		},
-		Rules: Rules{DrainGrace: stricttoml.Duration{
-			Duration: 250 * time.Millisecond,
-		}, WarmupStart: 0.2, WarmupDuration: stricttoml.Duration{Duration: 20 * time.Second},
-			FallMultiple: 2.5, FallAfter: stricttoml.Duration{
-				Duration: 2 * time.Second,
-			}, PollWithin: stricttoml.Duration{
-				Duration: 10 * time.Second,
-			}},
-		Goal:  Goal{Whole: 1},
+		Goal:  Goal{Overall: 1},
 		Paths: Paths{EncodedSlash: "refuse"},
 	}
 }
+
+func defaultAccessLog() AccessLog {
+	return AccessLog{
+		SampleRate:  1,
+		SegmentRows: 20_000,
+		SegmentAge:  seconds(10),
+		MaxBytes:    stricttoml.Size{Bytes: 1 << 30},
+	}
+}
+
+func defaultControlPlane() ControlPlane {
+	return ControlPlane{
+		Pinned:                []string{"listener", "fleet.zone", "fleet.position"},
+		CanaryDuration:        seconds(30),
+		HarmMargin:            0.01,
+		Alpha:                 0.001,
+		MinValidationInterval: seconds(1),
+		MaxResponseSize:       stricttoml.Size{Bytes: 4 << 20},
+		MaxBackoff:            seconds(30),
+	}
+}
+
+func defaultPeers() Peers {
+	return Peers{
+		Fleet:                "dunlinsail",
+		CoordinatedUses:      []string{"further", "probes", "tenants", "level", "suspects"},
+		QuotaLease:           seconds(2),
+		LeaseRequestInterval: millis(250),
+		LeaderLease:          seconds(1),
+		ReserveFraction:      0.1,
+		MaxClockDrift:        0.005,
+	}
+}
+
+func defaultMaintenance() Maintenance {
+	return Maintenance{
+		MaxOut:          1,
+		MaxPerZone:      1,
+		MaxPerCell:      1,
+		Announced:       4,
+		CapacityReserve: 0.2,
+		Lease:           seconds(2),
+		QuietPeriod:     seconds(5),
+	}
+}
--- a/internal/config/requests.go
+++ b/internal/config/requests.go
@@ -66,7 +66,7 @@
 
 // Goal holds the weights of the service's objectives.
 type Goal struct {
-	Whole       float64 `toml:"whole"`
+	Overall     float64 `toml:"whole"`
 	WorstWindow float64 `toml:"worst_window"`
 	WorstClass  float64 `toml:"worst_class"`
 	WorstTenant float64 `toml:"worst_tenant"`
--- a/internal/config/resources.go
+++ b/internal/config/resources.go
@@ -18,15 +18,15 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// Resource is a part of a version of the configuration, as a control service sends it: a table of the file, or one of
-// a list of them.
+// Resource is a part of a version of the configuration, as a control plane sends it: a table of the file, or one of
+// a list of tables.
 type Resource struct {
 	Kind   string         `json:"kind"`           // the table's name, as "class"
-	Name   string         `json:"name,omitempty"` // of one of a list, as the file's key name; "" of a table that stands alone
-	Fields map[string]any `json:"fields"`         // as a decoder of JSON has them, without the name
+	Name   string         `json:"name,omitempty"` // of one of a list, as its key name; else ""
+	Fields map[string]any `json:"fields"`         // as decoded from JSON, without the name
 }
 
-// ID returns how a resource is spoken of: "class/book", "requests".
+// ID identifies the resource within a version: "class/book", "requests".
 func (r *Resource) ID() string {
 	if r.Name == "" {
 		return r.Kind
@@ -34,7 +34,7 @@
 	return r.Kind + "/" + r.Name
 }
 
-// Kind is what resources there may be of a table.
+// ResourceKind describes the resources of one table.
 type ResourceKind struct {
 	Name string
 	List bool         // there may be several, each with a name
@@ -44,7 +44,7 @@
 // localOnly are the tables that only the file has: what a process is and has on its host, and who may change that.
 var localOnly = []string{"name", "process", "takeover", "record", "control", "peers", "operators", "work"}
 
-// Kinds returns what a control service may send, by name.
+// ResourceKinds returns the kinds that a control plane may send, by name.
 func ResourceKinds() map[string]ResourceKind {
 	all := map[string]ResourceKind{}
 	of := reflect.TypeFor[Config]()
@@ -206,7 +206,7 @@
 	return c, nil
 }
 
-// merge is a file's tree on its way to what a version makes of it.
+// merger merges the resources of a version into a file's tree.
 type merger struct {
 	tree        map[string]any
 	kinds       map[string]ResourceKind
@@ -281,7 +281,7 @@
 	m.listOrigins[kind] = []string{r.ID()}
 }
 
-// numbers returns a value with its whole numbers as such: JSON has one kind of number, and TOML two.
+// integralFloatsToInts returns a value with its integral floats as integers: JSON has one type of number, TOML two.
 func integralFloatsToInts(v any) any {
 	switch v := v.(type) {
 	case float64:
@@ -304,7 +304,7 @@
 	return v
 }
 
-// mistakesMost is how many mistakes of a version are told.
+// maxReportedErrors is how many mistakes of a version are reported.
 const maxReportedErrors = 8
 
 // explain tells mistakes by the resources that they are in.
--- a/internal/config/resources_test.go
+++ b/internal/config/resources_test.go
@@ -11,8 +11,8 @@
 	"testing"
 )
 
-// cases has for each key of each kind a value that is taken and one that is refused. Beside them stand the keys that the one
-// or the other needs.
+// cases has for each key of each kind a value that is taken and one that is refused. Beside them stand the keys that
+// the one or the other needs.
 var cases = map[string]struct{ good, bad string }{
 	"attempts.cancel":            {`false`, `1`},
 	"attempts.dial_timeout":      {`"100ms"`, `"0s"`},
@@ -148,7 +148,7 @@
 }
 
 // whole are resources that are sound, one of each kind that needs more than a key.
-var whole = map[string]string{
+var completeFields = map[string]string{
 	"class":    `{"repeat":"safe","aim":"100ms","give_up":"1s"}`,
 	"listener": `{"address":"127.0.0.1:8081","client":"desk"}`,
 	"pool":     `{"endpoints":["127.0.0.1:9001"]}`,
@@ -176,7 +176,8 @@
 // Each key that a version may hold has a value that is taken, and one that is refused with the resource and the key.
 func TestEachKey(t *testing.T) {
 	protocol := sound(t, "[control]\npin = []\n"+least)
-	routed := sound(t, "[control]\npin = []\n"+leastRoutes+"class = \"look\"\n[[class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"250ms\"\ngive_up = \"500ms\"\n[[client]]\nname = \"desk\"\n[others]\n")
+	routed := sound(t,
+		"[control]\npin = []\n"+leastRoutes+"class = \"look\"\n[[class]]\nname = \"look\"\nrepeat = \"safe\"\naim = \"250ms\"\ngive_up = \"500ms\"\n[[client]]\nname = \"desk\"\n[others]\n")
 	var keys []string
 	var collect func(kind string, t reflect.Type)
 	collect = func(kind string, t reflect.Type) {
@@ -203,8 +204,8 @@
 		}
 		made := func(value string) []Resource {
 			r := Resource{Kind: kind, Fields: map[string]any{}}
-			if whole[kind] != "" {
-				r.Fields = object(t, whole[kind])
+			if completeFields[kind] != "" {
+				r.Fields = object(t, completeFields[kind])
 			}
 			if needs[key] != "" {
 				maps.Copy(r.Fields, object(t, "{"+needs[key]+"}"))
@@ -246,7 +247,8 @@
 	}
 }
 
-// What a version holds stands in place of the file's, but for what that pins, and a list that is the same is in the same order.
+// What a version holds stands in place of the file's, but for what that pins, and a list that is the same is in the
+// same order.
 func TestCombine(t *testing.T) {
 	file := sound(t, `
 [control]
@@ -309,7 +311,8 @@
 	}
 }
 
-// What is wrong with a version is told by its resource, all of it at once; what is wrong between it and the file, by the key.
+// What is wrong with a version is told by its resource, all of it at once; what is wrong between it and the file, by
+// the key.
 func TestCombineTellsWhere(t *testing.T) {
 	file := sound(t, least)
 	deep := any("x")
@@ -318,8 +321,8 @@
 	}
 	for want, all := range map[string][]Resource{
 		"class/book: aim: is missing":                                           {{Kind: "class", Name: "book", Fields: object(t, `{"repeat":"safe"}`)}},
-		"class/book: worht: is not a known key":                                 {{Kind: "class", Name: "a", Fields: object(t, whole["class"])}, {Kind: "class", Name: "book", Fields: object(t, `{"worht":1}`)}},
-		"class/b: repeat: \"x\" is none of":                                     {{Kind: "class", Name: "a", Fields: object(t, whole["class"])}, {Kind: "class", Name: "b", Fields: object(t, `{"repeat":"x","aim":"1s","give_up":"1s"}`)}},
+		"class/book: worht: is not a known key":                                 {{Kind: "class", Name: "a", Fields: object(t, completeFields["class"])}, {Kind: "class", Name: "book", Fields: object(t, `{"worht":1}`)}},
+		"class/b: repeat: \"x\" is none of":                                     {{Kind: "class", Name: "a", Fields: object(t, completeFields["class"])}, {Kind: "class", Name: "b", Fields: object(t, `{"repeat":"x","aim":"1s","give_up":"1s"}`)}},
 		"the file: listener.0.client: no client is":                             {{Kind: "client", Name: "other", Fields: map[string]any{}}},
 		"requests: in_flight_most: 3 is under in_fli":                           {{Kind: "requests", Fields: object(t, `{"in_flight_least":5,"in_flight_most":3}`)}},
 		"\"clas\" is no kind of resource":                                       {{Kind: "clas", Name: "a"}},
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -90,7 +90,7 @@
 	Response HeaderEdits `toml:"answer"`
 }
 
-// Edits are changes of headers. What is removed goes first.
+// HeaderEdits are changes of headers, the removals first.
 type HeaderEdits struct {
 	Remove []string          `toml:"remove"`
 	Set    map[string]string `toml:"set"`
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -28,7 +28,8 @@
 	}
 	r := c.Routes[0]
 	if c.Table == nil || len(c.Classes) != 2 || c.OtherClients == nil || c.Listeners[0].Name != "127.0.0.1:0" || r.MaxBodyHeld.Bytes != 64<<10 ||
-		r.IdleTimeout.Duration != 30*time.Second || !reflect.DeepEqual(r.ErrorStatuses, []int{500, 502, 504}) || r.Forwarded != "as-is" {
+		r.IdleTimeout.Duration != 30*time.Second || r.Forwarded != "as-is" ||
+		!reflect.DeepEqual(r.ErrorStatuses, []int{500, 502, 504}) {
 		t.Errorf("%+v", c)
 	}
 	if got := c.Table.Match("any", "/a/b", "PURGE", nil); got != 0 {
@@ -97,7 +98,8 @@
 			t.Errorf("%q in place of %q:\n got %v\nwant %s", tc.new, tc.old, err, tc.want)
 		}
 	}
-	if _, err := Parse([]byte(strings.Replace(least, "[[class]]", "[[pool]]\nname = \"a\"\nendpoints = []\n[[class]]", 1))); err == nil ||
+	withPool := strings.Replace(least, "[[class]]", "[[pool]]\nname = \"a\"\nendpoints = []\n[[class]]", 1)
+	if _, err := Parse([]byte(withPool)); err == nil ||
 		!strings.Contains(err.Error(), "no route leads to a pool") {
 		t.Errorf("a pool without routes: %v", err)
 	}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -21,21 +21,31 @@
 // Schema returns the JSON Schema (2020-12) of the resources that a version may hold, as Resource is written in JSON.
 // It says which keys there are and what kind of value each has; what fits what, Combine says.
 func Schema() ([]byte, error) {
-	r := jsonschema.Reflector{FieldNameTag: "toml", DoNotReference: true, Anonymous: true, RequiredFromJSONSchemaTags: true,
+	r := jsonschema.Reflector{
+		FieldNameTag:               "toml",
+		DoNotReference:             true,
+		Anonymous:                  true,
+		RequiredFromJSONSchemaTags: true,
 		Mapper: func(t reflect.Type) *jsonschema.Schema {
 			if pattern, ok := units[t]; ok {
 				return &jsonschema.Schema{Type: "string", Pattern: pattern}
 			}
 			return nil
-		}}
+		},
+	}
 	var of []*jsonschema.Schema
 	kinds := ResourceKinds()
 	for _, name := range slices.Sorted(maps.Keys(kinds)) {
 		k := kinds[name]
 		fields := r.ReflectFromType(k.Type)
 		fields.Version = ""
-		s := &jsonschema.Schema{Type: "object", Title: name, Properties: jsonschema.NewProperties(), AdditionalProperties: jsonschema.FalseSchema,
-			Required: []string{"kind", "fields"}}
+		s := &jsonschema.Schema{
+			Type:                 "object",
+			Title:                name,
+			Properties:           jsonschema.NewProperties(),
+			AdditionalProperties: jsonschema.FalseSchema,
+			Required:             []string{"kind", "fields"},
+		}
 		s.Properties.Set("kind", &jsonschema.Schema{Const: name})
 		if k.List {
 			fields.Properties.Delete("name")
@@ -47,8 +57,13 @@
 		of = append(of, s)
 	}
 	most := uint64(maxResources)
-	all := &jsonschema.Schema{Version: jsonschema.Version, Title: "A version of dunlinsaild's configuration", Type: "array", MaxItems: &most,
-		Items: &jsonschema.Schema{OneOf: of}}
+	all := &jsonschema.Schema{
+		Version:  jsonschema.Version,
+		Title:    "A version of dunlinsaild's configuration",
+		Type:     "array",
+		MaxItems: &most,
+		Items:    &jsonschema.Schema{OneOf: of},
+	}
 	text, err := json.MarshalIndent(all, "", "  ")
 	return append(text, '\n'), err
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -9,7 +9,7 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// check gathers what is wrong.
+// validator collects the mistakes in a configuration.
 type validator struct{ stricttoml.Validation }
 
 const (
--- a/internal/config/validate_clients.go
+++ b/internal/config/validate_clients.go
@@ -24,10 +24,10 @@
 	}
 	k.Require(n.MaxClients >= 1, "connections.clients", "%d: must be at least 1", n.MaxClients)
 	k.Require(n.MaxEndpoints >= 1, "connections.endpoints", "%d: must be at least 1", n.MaxEndpoints)
-	k.Require(n.MaxClients+n.MaxEndpoints <= free, "connections.clients", "%d, and %d to endpoints, are over the %d that "+
-		"process.descriptors leaves", n.MaxClients, n.MaxEndpoints, free)
-	k.Require(n.MaxIdle >= 1 && n.MaxIdle <= n.MaxClients, "connections.at_rest", "%d: must be in 1..%d, connections.clients",
-		n.MaxIdle, n.MaxClients)
+	k.Require(n.MaxClients+n.MaxEndpoints <= free, "connections.clients",
+		"%d, and %d to endpoints, are over the %d that process.descriptors leaves", n.MaxClients, n.MaxEndpoints, free)
+	k.Require(n.MaxIdle >= 1 && n.MaxIdle <= n.MaxClients, "connections.at_rest",
+		"%d: must be in 1..%d, connections.clients", n.MaxIdle, n.MaxClients)
 	k.Require(n.MaxIdleTime.Duration > 0, "connections.rest_most", "must be positive")
 	k.Require(n.MinIdleTime.Duration <= n.MaxIdleTime.Duration, "connections.rest_least", "%v is over rest_most, %v",
 		n.MinIdleTime, n.MaxIdleTime)
--- a/internal/config/validate_fleet.go
+++ b/internal/config/validate_fleet.go
@@ -89,11 +89,11 @@
 		"one alone settles nothing that outlives it: 3, 5 or 7 are needed")
 	k.Require(slices.Contains(c.Peers.Allocators, c.Name) == (w.StateFile != ""), "work.state",
 		"is for the instances that peers.lenders names, and needed there")
-	k.Require(c.Takeover.Socket == "" || c.Takeover.DrainWithin.Duration <= w.Lease.Duration+w.QuietPeriod.Duration, "takeover.drain_within",
+	maxDrain := w.Lease.Duration + w.QuietPeriod.Duration
+	k.Require(c.Takeover.Socket == "" || c.Takeover.DrainWithin.Duration <= maxDrain, "takeover.drain_within",
 		"%v: a process that gives its place must be over by work.lease and work.quiet together, %v",
-		c.Takeover.DrainWithin, w.Lease.Duration+w.QuietPeriod.Duration)
+		c.Takeover.DrainWithin, maxDrain)
 }
 
-// wordsMost is how many questions a second one instance may be asked, at most: each is a millisecond's tenth of work
-// there.
+// maxLeaseRequestRate bounds the lease requests a second to one instance: each costs it about 0.1 ms.
 const maxLeaseRequestRate = 4000
--- a/internal/config/validate_site.go
+++ b/internal/config/validate_site.go
@@ -76,7 +76,7 @@
 		"prices.probe":      c.Prices.Probe,
 		"prices.waste":      c.Prices.Waste,
 		"prices.late_fail":  c.Prices.LateFail,
-		"goal.whole":        c.Goal.Whole,
+		"goal.whole":        c.Goal.Overall,
 		"goal.worst_window": c.Goal.WorstWindow,
 		"goal.worst_class":  c.Goal.WorstClass,
 		"goal.worst_tenant": c.Goal.WorstTenant,
@@ -126,7 +126,7 @@
 			LateFail:  c.Prices.LateFail,
 		},
 		Goal: balancer.Goal{
-			Overall:     c.Goal.Whole,
+			Overall:     c.Goal.Overall,
 			WorstWindow: c.Goal.WorstWindow,
 			WorstClass:  c.Goal.WorstClass,
 			WorstTenant: c.Goal.WorstTenant,
@@ -201,12 +201,22 @@
 		k.Require(cl.Name != "" && !strings.ContainsAny(cl.Name, "/ ?#%"), at("name"),
 			"%q must be a part of a path: neither empty nor with / ? # %% or a space", cl.Name)
 		k.Require(!slices.Contains(s.Classes, cl.Name), at("name"), "%q is named twice", cl.Name)
-		to := balancer.Class{Name: cl.Name, LatencyObjective: cl.LatencyObjective.Micros(), ClientTimeout: cl.ClientTimeout.Micros(), PriorityWeight: 1, LateWeight: cl.LateWeight}
+		to := balancer.Class{
+			Name:             cl.Name,
+			LatencyObjective: cl.LatencyObjective.Micros(),
+			ClientTimeout:    cl.ClientTimeout.Micros(),
+			PriorityWeight:   1,
+			LateWeight:       cl.LateWeight,
+		}
 		to.Idempotency = stricttoml.Enum(&k.Validation, at("repeat"), cl.Idempotency, map[string]balancer.Idempotency{
 			"safe": balancer.Idempotent, "keyed": balancer.IdempotentByKey, "unsafe": balancer.NonIdempotent})
 		if cl.Idempotency == "keyed" {
-			to.DedupScope = stricttoml.Enum(&k.Validation, at("group"), cl.IdempotencyGroup, map[string]balancer.DedupScope{
-				"all": balancer.DedupAll, "zone": balancer.DedupZone, "cell": balancer.DedupCell})
+			scopes := map[string]balancer.DedupScope{
+				"all":  balancer.DedupAll,
+				"zone": balancer.DedupZone,
+				"cell": balancer.DedupCell,
+			}
+			to.DedupScope = stricttoml.Enum(&k.Validation, at("group"), cl.IdempotencyGroup, scopes)
 			to.DedupWindow = cl.KeyWindow.Micros()
 			k.Require(cl.KeyWindow.Duration > 0, at("window"),
 				"is missing: for how long the group drops a repeat of a key")
--- a/internal/decide/canary/canary_test.go
+++ b/internal/decide/canary/canary_test.go
@@ -15,7 +15,7 @@
 
 var testSettings = Settings{Duration: 30_000_000, MinDuration: 2_000_000, HarmMargin: 0.01, Alpha: 0.01}
 
-// site draws samples: so many requests a second, of which a part is in vain, by more in some slots than in others.
+// trafficSource draws samples with a request rate and a fraction that is not served, which varies from slot to slot.
 type trafficSource struct {
 	rng              *rand.Rand
 	rate             float64 // a second
@@ -46,7 +46,7 @@
 	return s
 }
 
-// play tries until there is a verdict.
+// runToVerdict adds samples of the canary until there is a verdict.
 func runToVerdict(t *testing.T, s Settings, before, after *trafficSource) (Verdict, Statistics) {
 	t.Helper()
 	x, err := NewAnalysis(s)
