Write http1's bodies and responses as short methods, with named error types of Proxy-Status

forwardResponse (75 lines) and readBody held framing, head, buffering and streaming at once. They are methods now; streamBody returns one of two errors in place of two booleans. Order of reads, writes and reservations is as before.

--- a/internal/frontend/http1/local_response.go
+++ b/internal/frontend/http1/local_response.go
@@ -7,18 +7,23 @@
 	"time"
 )
 
-// response is a final answer as it goes to the client.
+// localResponse is a final response that this process makes itself.
 type localResponse struct {
 	status int
 	header http.Header
 	body   []byte
 }
 
+// newLocalResponse returns a plain-text response.
 func newLocalResponse(status int, text string) *localResponse {
-	return &localResponse{status: status, header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, body: []byte(text + "\n")}
+	return &localResponse{
+		status: status,
+		header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		body:   []byte(text + "\n"),
+	}
 }
 
-// retryAfter advises the client to come back after a time, if there is any advice.
+// setRetryAfter sets Retry-After, in seconds with three decimals, unless d is 0. It returns r.
 func (r *localResponse) setRetryAfter(d time.Duration) *localResponse {
 	if d > 0 {
 		r.header.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
@@ -26,7 +31,7 @@
 	return r
 }
 
-// write writes a whole answer in one piece, and says whether that went well.
+// writeResponse writes a response in one piece. It reports whether that succeeded within writeTimeout.
 func (c *conn) writeResponse(response *localResponse, closeAfter bool) bool {
 	var buf bytes.Buffer
 	buf.Grow(256 + len(response.body))
@@ -43,7 +48,7 @@
 	return err == nil
 }
 
-// writeHead writes an answer without its body, as HEAD asks for.
+// writeHeadOnly is writeResponse for HEAD requests: without the body.
 func (c *conn) writeHeadOnly(response *localResponse, closeAfter bool) bool {
 	buf := appendResponseHead(nil, response.status, response.header, nil)
 	buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.body))+"\r\n"...)
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -13,33 +13,33 @@
 	"dunlinsail/internal/upstream"
 )
 
-const (
-	// holdTime is how long a body of unknown length is waited for to be held: one that comes in parts over a longer
-	// time goes on as it comes.
-	bodyBufferTimeout = 20 * time.Millisecond
-	// copyBuffer is what is held of an answer that streams.
-	copyBufferSize = 48 << 10
-)
+// bodyBufferTimeout is how long a body of unknown length may take to be buffered. One that takes longer is streamed.
+const bodyBufferTimeout = 20 * time.Millisecond
 
-// hold takes in what is held of a request's body, if it may be.
+// bufferBody reserves bytes for the request's body and reads as much of it as is buffered.
 func (x *exchange) bufferBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
-	switch {
-	case framing.Kind == http1msg.FixedLength && rt.MaxBodyBytes > 0 && framing.Length > rt.MaxBodyBytes:
-		return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
-	case !x.server.conns.reserveBytes(x.conn, rt.reservedBytes(framing), false):
-		return &requestError{status: http.StatusServiceUnavailable, retryAfter: byteLimitRetryAfter, proxyError: "connection_limit_reached",
-			reason: "refused: too many bytes of this client's requests are held"}
+	if framing.Kind == http1msg.FixedLength && rt.MaxBodyBytes > 0 && framing.Length > rt.MaxBodyBytes {
+		return rt.bodyTooLarge()
+	}
+	if !x.server.conns.reserveBytes(x.conn, rt.reservedBytes(framing), false) {
+		return &requestError{
+			status:     http.StatusServiceUnavailable,
+			reason:     "refused: too many bytes of this client's requests are held",
+			retryAfter: byteLimitRetryAfter,
+			proxyError: proxyErrConnectionLimit,
+		}
 	}
 	if err := x.readBody(rt, out, framing); err != nil {
 		return err
 	}
-	if pipelined, _ := x.conn.buffer.Peek(x.conn.buffer.Buffered()); x.byClass && out.Stream == nil && !mayStartRequest(pipelined) {
+	pipelined, _ := x.conn.buffer.Peek(x.conn.buffer.Buffered())
+	if x.byClass && out.Stream == nil && !mayStartRequest(pipelined) {
 		return requestErrorf(http.StatusBadRequest, surplusBytes)
 	}
 	return nil
 }
 
-// held is how many bytes of a request's body are held at most.
+// reservedBytes returns how many bytes of a request's body are buffered at most.
 func (rt *Route) reservedBytes(framing http1msg.Framing) int64 {
 	switch {
 	case framing.Kind == http1msg.NoBody:
@@ -52,68 +52,102 @@
 	return rt.BufferBytes
 }
 
-// body reads what is held of the body, and prepares what is not to be passed on as it comes. A 100 (Continue) is sent
-// as soon as the request has been routed and its client is within its bounds, and no endpoint is asked for it.
+func (rt *Route) bodyTooLarge() error {
+	return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
+}
+
+// readBody reads the part of the body that is buffered, and prepares the streaming of the rest. A 100 (Continue) is
+// sent as soon as the request has been routed and its client is within its limits, without asking an endpoint.
 func (x *exchange) readBody(rt *Route, out *upstream.Request, framing http1msg.Framing) error {
-	c := x.conn
-	if expect := x.request.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") {
-		if framing.Kind != http1msg.NoBody && x.request.ProtoAtLeast(1, 1) {
-			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
-		}
-	} else if expect != "" {
-		return requestErrorf(http.StatusExpectationFailed, "Expect makes no sense")
+	if err := x.answerExpect(framing); err != nil {
+		return err
 	}
 	out.Sized = x.request.Header.Get("Content-Length") != ""
 	if framing.Kind == http1msg.NoBody {
 		return nil
 	}
-	c.readLimit.N = math.MaxInt64
-	body := http1msg.NewBody(c.buffer, framing)
+	x.conn.readLimit.N = math.MaxInt64
+	body := http1msg.NewBody(x.conn.buffer, framing)
 	length := int64(-1)
 	if framing.Kind == http1msg.FixedLength {
 		length = framing.Length
 	}
 	if length < 0 || length <= rt.BufferBytes {
-		deadline := time.Now().Add(RequestTimeout)
-		switch {
-		case x.byClass: // an endpoint begins with the last byte: going on with a part gains nothing
-			deadline = deadline.Add(time.Duration(rt.reservedBytes(framing)) * time.Second / minBodyBytesPerSecond)
-		case length < 0:
-			deadline = time.Now().Add(bodyBufferTimeout)
+		complete, err := x.readBuffered(rt, out, body, framing, length)
+		if complete || err != nil {
+			return err
 		}
-		var err error
-		c.SetReadDeadline(deadline)
-		if out.Body, err = readUpTo(body, length, rt.BufferBytes); err == io.EOF {
-			out.Trailer = body.Trailer()
-			if rt.MaxBodyBytes > 0 && int64(len(out.Body)) > rt.MaxBodyBytes {
-				return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
-			}
-			return nil
+	}
+	return x.streamRequestBody(rt, out, body, length)
+}
+
+// answerExpect sends the interim response that an Expect field asks for (RFC 9110 section 10.1.1).
+func (x *exchange) answerExpect(framing http1msg.Framing) error {
+	expect := x.request.Header.Get("Expect")
+	if strings.EqualFold(expect, "100-continue") {
+		if framing.Kind != http1msg.NoBody && x.request.ProtoAtLeast(1, 1) {
+			_, _ = io.WriteString(x.conn, "HTTP/1.1 100 Continue\r\n\r\n") // a failure shows when the body is read
 		}
-		if err != nil && !(length < 0 && errors.Is(err, os.ErrDeadlineExceeded)) {
-			return bodyReadError(err)
+	} else if expect != "" {
+		return requestErrorf(http.StatusExpectationFailed, "Expect makes no sense")
+	}
+	return nil
+}
+
+// readBuffered reads the body up to the route's bound for buffering. It reports whether that is all of it; length is -1
+// where it is not known.
+func (x *exchange) readBuffered(
+	rt *Route, out *upstream.Request, body *http1msg.Body, framing http1msg.Framing, length int64,
+) (complete bool, err error) {
+	deadline := time.Now().Add(RequestTimeout)
+	switch {
+	case x.byClass: // an endpoint starts with the last byte: streaming a part gains nothing
+		deadline = deadline.Add(time.Duration(rt.reservedBytes(framing)) * time.Second / minBodyBytesPerSecond)
+	case length < 0:
+		deadline = time.Now().Add(bodyBufferTimeout)
+	}
+	x.conn.SetReadDeadline(deadline)
+	out.Body, err = readUpTo(body, length, rt.BufferBytes)
+	if err == io.EOF {
+		out.Trailer = body.Trailer()
+		if rt.MaxBodyBytes > 0 && int64(len(out.Body)) > rt.MaxBodyBytes {
+			return false, rt.bodyTooLarge()
 		}
+		return true, nil
 	}
+	if err != nil && !(length < 0 && errors.Is(err, os.ErrDeadlineExceeded)) {
+		return false, bodyReadError(err)
+	}
+	return false, nil
+}
+
+// streamRequestBody has the rest of the body read from the connection by the attempt that sends it.
+func (x *exchange) streamRequestBody(rt *Route, out *upstream.Request, body *http1msg.Body, length int64) error {
 	maxBytes := int64(-1)
 	if rt.MaxBodyBytes > 0 {
-		if maxBytes = rt.MaxBodyBytes - int64(len(out.Body)); maxBytes < 0 {
-			return requestErrorf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", rt.MaxBodyBytes)
+		maxBytes = rt.MaxBodyBytes - int64(len(out.Body))
+		if maxBytes < 0 {
+			return rt.bodyTooLarge()
 		}
 	}
-	idleTimeout, deadline := rt.UnsafeRules.Idle, time.Now().Add(rt.StreamTimeout)
-	out.Stream = upstream.NewStream(body, length, func() {
+	c := x.conn
+	idleTimeout := rt.UnsafeRules.Idle
+	deadline := time.Now().Add(rt.StreamTimeout)
+	extendDeadline := func() {
 		readDeadline := time.Now().Add(idleTimeout)
 		if deadline.Before(readDeadline) {
 			readDeadline = deadline
 		}
 		c.SetReadDeadline(readDeadline)
-	}, func() { c.SetReadDeadline(expiredDeadline) })
+	}
+	interrupt := func() { c.SetReadDeadline(expiredDeadline) }
+	out.Stream = upstream.NewStream(body, length, extendDeadline, interrupt)
 	out.Stream.Most = maxBytes
 	return nil
 }
 
-// readUpTo reads a body of a length, -1 if that is not known, up to a bound. Its error is io.EOF at the body's end, and
-// nil where the bound was reached before.
+// readUpTo reads a body of the given length, -1 if it is not known, up to maxBytes. Its error is io.EOF at the end of
+// the body, and nil where the bound was reached first.
 func readUpTo(body *http1msg.Body, length, maxBytes int64) ([]byte, error) {
 	size := maxBytes
 	if length >= 0 {
--- a/internal/frontend/http1/request_errors.go
+++ b/internal/frontend/http1/request_errors.go
@@ -14,12 +14,25 @@
 	"dunlinsail/internal/upstream"
 )
 
+// surplusBytes is the reason for rejecting a request that bytes follow which cannot start another request.
 const surplusBytes = "more was sent than the request's length tells"
 
-// unreadable returns the answer to what is no request, nil if the client has sent nothing or has gone.
+// Error types of Proxy-Status (RFC 9209 section 2.3).
+const (
+	proxyErrRequest         = "http_request_error"
+	proxyErrDenied          = "http_request_denied"
+	proxyErrNotFound        = "destination_not_found"
+	proxyErrUnavailable     = "destination_unavailable"
+	proxyErrConnectionLimit = "connection_limit_reached"
+	proxyErrTimeout         = "http_response_timeout"
+	proxyErrIncomplete      = "http_response_incomplete"
+)
+
+// unreadableResponse returns the response to input that is not a request, nil if the client sent nothing or has
+// closed the connection.
 func (s *Server) unreadableResponse(c *conn, err error) *localResponse {
 	var timeout net.Error
-	code := http.StatusBadRequest
+	status := http.StatusBadRequest
 	switch {
 	case errors.As(err, new(*http1msg.HeadError)):
 		return rejectionResponse(err)
@@ -27,16 +40,16 @@
 		if c.readLimit.N == MaxHeaderBytes && (c.buffer == nil || c.buffer.Buffered() == 0) {
 			return nil
 		}
-		code = http.StatusRequestTimeout
+		status = http.StatusRequestTimeout
 	case c.readLimit.N <= 0:
-		code = http.StatusRequestHeaderFieldsTooLarge
+		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, syscall.ECONNRESET):
 		return nil
 	}
-	return newLocalResponse(code, http.StatusText(code))
+	return newLocalResponse(status, http.StatusText(status))
 }
 
-// turnedAway returns the answer to a request that is not taken.
+// rejectionResponse returns the response to a request that is not forwarded because of err.
 func rejectionResponse(err error) *localResponse {
 	response := newLocalResponse(http.StatusBadRequest, err.Error())
 	if reqErr := (*requestError)(nil); errors.As(err, &reqErr) {
@@ -49,12 +62,12 @@
 	return response
 }
 
-// badRequest says why a request is not taken.
+// requestError is why a request is rejected, and how that is reported to the client.
 type requestError struct {
-	status     int
-	reason     string
-	retryAfter time.Duration
-	proxyError string // the type of error in Proxy-Status; "" is http_request_error
+	status     int           // HTTP status
+	reason     string        // text of the response
+	retryAfter time.Duration // 0 for no Retry-After header
+	proxyError string        // error type of Proxy-Status; "" is proxyErrRequest
 }
 
 func (e *requestError) Error() string { return e.reason }
@@ -63,7 +76,7 @@
 	return &requestError{status: status, reason: fmt.Sprintf(format, args...)}
 }
 
-// bodyError returns the answer to a request whose body does not come as it should.
+// bodyReadError returns the error to reject a request with whose body could not be read.
 func bodyReadError(err error) error {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -15,32 +15,52 @@
 	"dunlinsail/internal/upstream"
 )
 
+// Layout of the buffer that a streamed response body is copied through: the header of a chunk, its data, CR LF.
+const (
+	copyBufferSize   = 48 << 10
+	chunkHeaderSpace = 16
+	chunkDataEnd     = copyBufferSize - len("\r\n")
+)
+
 var copyBufferPool = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
-// answer gives the final answer, and says whether the connection may serve another request.
+// Why a response body that was streamed is not complete.
+var (
+	errClientWrite       = errors.New("the client does not read the response")
+	errUpstreamTruncated = errors.New("the endpoint's response body is truncated")
+)
+
+// respond writes the final response. It reports whether the connection may serve another request.
 func (x *exchange) respond(response engine.Response) bool {
 	if response.Verdict != engine.Served && x.stream != nil {
 		<-x.stream.Over()
-		if err := x.stream.Err(); err != nil { // it is the client's body that has failed
+		if err := x.stream.Err(); err != nil { // the client's own body failed
 			x.closeAfter = true
-			return x.writeLocal(rejectionResponse(bodyReadError(err)), "http_request_error")
+			return x.writeLocal(rejectionResponse(bodyReadError(err)), proxyErrRequest)
 		}
 	}
 	if response.Result != nil && response.Result.Response != nil && (response.Verdict == engine.Served || !x.byClass) {
 		return x.forwardResponse(response.Result.Response.(*upstream.Whole))
 	}
+	return x.writeLocal(verdictResponse(&response))
+}
+
+// verdictResponse returns the response to a request that no endpoint answered, and its error type of Proxy-Status.
+func verdictResponse(response *engine.Response) (local *localResponse, proxyError string) {
+	retryAfter := clock.Duration(response.RetryAfter)
 	switch response.Verdict {
 	case engine.Rejected:
-		return x.writeLocal(newLocalResponse(http.StatusServiceUnavailable, "refused: "+orDefault(response.Reason, "try again later")).setRetryAfter(clock.Duration(response.RetryAfter)),
-			"destination_unavailable")
+		reason := "refused: " + orDefault(response.Reason, "try again later")
+		return newLocalResponse(http.StatusServiceUnavailable, reason).setRetryAfter(retryAfter), proxyErrUnavailable
 	case engine.RateLimited:
-		return x.writeLocal(newLocalResponse(http.StatusTooManyRequests, "refused: "+response.Reason).setRetryAfter(clock.Duration(response.RetryAfter)), "http_request_denied")
+		reason := "refused: " + response.Reason
+		return newLocalResponse(http.StatusTooManyRequests, reason).setRetryAfter(retryAfter), proxyErrDenied
 	case engine.DuplicateID:
-		return x.writeLocal(newLocalResponse(http.StatusConflict, "a request with this id is open"), "http_request_denied")
+		return newLocalResponse(http.StatusConflict, "a request with this id is open"), proxyErrDenied
 	case engine.TimedOut:
-		return x.writeLocal(newLocalResponse(http.StatusGatewayTimeout, "no answer in time"), "http_response_timeout")
+		return newLocalResponse(http.StatusGatewayTimeout, "no answer in time"), proxyErrTimeout
 	}
-	return x.writeLocal(newLocalResponse(http.StatusBadGateway, "failed"), "http_response_incomplete")
+	return newLocalResponse(http.StatusBadGateway, "failed"), proxyErrIncomplete
 }
 
 func orDefault(s, fallback string) string {
@@ -50,11 +70,12 @@
 	return s
 }
 
-// own gives an answer of this instance's. Proxy-Status (RFC 9209) tells it from an endpoint's, and why it is given.
+// writeLocal writes a response of this process. Proxy-Status (RFC 9209) distinguishes it from an endpoint's and gives
+// its error type; "" leaves that header out. It reports whether the connection may serve another request.
 func (x *exchange) writeLocal(response *localResponse, proxyError string) bool {
 	x.status = response.status
 	if proxyError != "" {
-		response.header.Set("Proxy-Status", x.proxyName+"; error="+proxyError+"; details="+strconv.Quote(strings.TrimSpace(string(response.body))))
+		x.setProxyStatus(response, proxyError, strings.TrimSpace(string(response.body)))
 	}
 	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
 	if x.request.Method == http.MethodHead {
@@ -63,63 +84,111 @@
 	return x.conn.writeResponse(response, x.closeAfter) && x.server.conns.finishRequest(x.conn) && !x.closeAfter
 }
 
-// turnAway answers a request that is not taken.
+func (x *exchange) setProxyStatus(response *localResponse, proxyError, details string) {
+	response.header.Set("Proxy-Status", x.proxyName+"; error="+proxyError+"; details="+strconv.Quote(details))
+}
+
+// reject responds to a request that is not forwarded. It reports whether the connection may serve another request.
 func (x *exchange) reject(err error) bool {
 	response := rejectionResponse(err)
-	proxyError := "http_request_error"
+	proxyError := proxyErrRequest
 	if reqErr := (*requestError)(nil); errors.As(err, &reqErr) && reqErr.proxyError != "" {
 		proxyError = reqErr.proxyError
 	}
 	framing, frameErr := http1msg.RequestFraming(x.request.Header)
-	if frameErr == nil && framing.Kind == http1msg.NoBody {
-		return x.server.conns.markBusy(x.conn) && x.writeLocal(response, proxyError) // nothing is in the way of the next
+	if frameErr == nil && framing.Kind == http1msg.NoBody { // no unread body precedes the next request
+		return x.server.conns.markBusy(x.conn) && x.writeLocal(response, proxyError)
 	}
-	response.header.Set("Proxy-Status", x.proxyName+"; error="+proxyError+"; details="+strconv.Quote(err.Error()))
+	x.setProxyStatus(response, proxyError, err.Error())
 	x.conn.reject(response)
 	return false
 }
 
-// pass gives an endpoint's answer.
+// outgoingFraming is how the end of a response body is marked for the client.
+type outgoingFraming struct {
+	noBody  bool // the response has no body, whatever its header says
+	chunked bool
+}
+
+// framingFor returns how the end of an endpoint's response body is marked. Where only the end of the connection can
+// mark it, the connection is closed afterwards.
+func (x *exchange) framingFor(response *upstream.Whole) outgoingFraming {
+	http10 := !x.request.ProtoAtLeast(1, 1)
+	unknownLength := response.Rest != nil && response.Framing.Kind != http1msg.FixedLength
+	framing := outgoingFraming{
+		noBody: x.request.Method == http.MethodHead || response.Code == http.StatusNoContent ||
+			response.Code == http.StatusNotModified,
+	}
+	framing.chunked = !framing.noBody && !http10 && (len(response.Trailer) > 0 || unknownLength)
+	if !framing.noBody && !framing.chunked && unknownLength {
+		x.closeAfter = true
+	}
+	return framing
+}
+
+// forwardResponse writes an endpoint's response. It reports whether the connection may serve another request.
 func (x *exchange) forwardResponse(response *upstream.Whole) bool {
-	x.status, x.bodyLength = response.Code, int64(len(response.Held))
-	if response.Rest != nil {
+	buffered := response.Rest == nil
+	x.status = response.Code
+	x.bodyLength = int64(len(response.Held))
+	if !buffered {
 		x.bodyLength = -1
 	}
 	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
-	if response.Rest != nil {
-		defer response.Rest.End()
-	}
-	complete := response.Rest == nil
-	if complete {
+	if buffered {
 		x.server.conns.reserveBytes(x.conn, int64(len(response.Held)), true)
+	} else {
+		defer response.Rest.End()
 	}
-	connection := response.Header["Connection"]
+	connection := response.Header["Connection"] // before the edits, which may remove it
 	x.responseEdits.apply(response.Header)
-	http10 := !x.request.ProtoAtLeast(1, 1)
-	noBody := x.request.Method == http.MethodHead || response.Code == http.StatusNoContent || response.Code == http.StatusNotModified
-	chunked := !noBody && !http10 && (len(response.Trailer) > 0 || !complete && response.Framing.Kind != http1msg.FixedLength)
-	if !noBody && !chunked && !complete && response.Framing.Kind != http1msg.FixedLength {
-		x.closeAfter = true // only the connection's end can tell where it ends
-	}
+	framing := x.framingFor(response)
 	buf := make([]byte, 0, 1024+len(response.Held))
-	for _, interim := range response.Interim {
-		if !http10 {
+	buf = x.appendForwardedHead(buf, response, connection, framing)
+	if !framing.noBody && len(response.Held) > 0 {
+		if framing.chunked {
+			buf = http1msg.AppendChunkHeader(buf, len(response.Held))
+			buf = append(append(buf, response.Held...), "\r\n"...)
+		} else {
+			buf = append(buf, response.Held...)
+		}
+	}
+	if buffered && framing.chunked {
+		buf = http1msg.AppendLastChunk(buf, response.Trailer)
+	}
+	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
+	if _, err := x.conn.Write(buf); err != nil {
+		return false
+	}
+	if !buffered && !x.streamRest(response.Rest, framing.chunked) {
+		return false
+	}
+	return x.server.conns.finishRequest(x.conn) && !x.closeAfter
+}
+
+// appendForwardedHead appends the interim responses and the head of an endpoint's response, its empty line included.
+// connection is the Connection field of the response as the endpoint sent it.
+func (x *exchange) appendForwardedHead(
+	buf []byte, response *upstream.Whole, connection []string, framing outgoingFraming,
+) []byte {
+	if x.request.ProtoAtLeast(1, 1) {
+		for _, interim := range response.Interim {
 			buf = appendResponseHead(buf, interim.Code, interim.Header, interim.Header["Connection"])
 			buf = append(buf, "\r\n"...)
 		}
 	}
 	buf = appendResponseHead(buf, response.Code, response.Header, connection)
 	switch {
-	case chunked:
+	case framing.chunked:
 		buf = append(buf, "Transfer-Encoding: chunked\r\n"...)
 		if names := response.Header["Trailer"]; len(names) > 0 {
 			buf = append(buf, "Trailer: "+strings.Join(names, ", ")+"\r\n"...)
 		}
-	case noBody:
+	case framing.noBody:
 		if n := response.Header["Content-Length"]; len(n) == 1 && response.Code != http.StatusNoContent {
-			buf = append(buf, "Content-Length: "+n[0]+"\r\n"...) // of what a GET would get
+			buf = append(buf, "Content-Length: "+n[0]+"\r\n"...) // the length that a GET would receive
 		}
-	case complete:
+	case response.Rest == nil:
 		buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.Held))+"\r\n"...)
 	case response.Framing.Kind == http1msg.FixedLength:
 		buf = append(buf, "Content-Length: "+strconv.FormatInt(response.Framing.Length, 10)+"\r\n"...)
@@ -127,53 +196,40 @@
 	if x.closeAfter {
 		buf = append(buf, "Connection: close\r\n"...)
 	}
-	buf = append(buf, "\r\n"...)
-	if !noBody && len(response.Held) > 0 {
-		if chunked {
-			buf = http1msg.AppendChunkHeader(buf, len(response.Held))
-			buf = append(append(buf, response.Held...), "\r\n"...)
-		} else {
-			buf = append(buf, response.Held...)
-		}
-	}
-	if complete && chunked {
-		buf = http1msg.AppendLastChunk(buf, response.Trailer)
-	}
-	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
-	if _, err := x.conn.Write(buf); err != nil {
-		return false
-	}
-	if !complete {
-		switch complete, failed := x.streamBody(response.Rest, chunked); {
-		case failed:
-			x.status = http.StatusBadGateway // in all but name: the client can tell that it is not whole
-			fallthrough
-		case !complete:
-			x.conn.abort()
-			return false
-		}
+	return append(buf, "\r\n"...)
+}
+
+// streamRest copies the part of a response body that is not buffered. It reports whether the body is complete;
+// otherwise the connection has been aborted.
+func (x *exchange) streamRest(rest *upstream.Rest, chunked bool) bool {
+	switch err := x.streamBody(rest, chunked); err {
+	case nil:
+		return true
+	case errUpstreamTruncated:
+		x.status = http.StatusBadGateway // for the record; the client sees the abort
 	}
-	return x.server.conns.finishRequest(x.conn) && !x.closeAfter
+	x.conn.abort()
+	return false
 }
 
-// copy passes on what follows of an answer as it comes, and says whether it is whole, and if not, whether that is the
-// endpoint's doing. The client's pace is the endpoint's: what the one does not take, the other is not asked for.
-func (x *exchange) streamBody(rest *upstream.Rest, chunked bool) (complete, failed bool) {
+// streamBody copies the rest of a response body as it arrives, or returns errClientWrite or errUpstreamTruncated. The
+// client's reading limits the endpoint's sending: nothing is read ahead of a write.
+func (x *exchange) streamBody(rest *upstream.Rest, chunked bool) error {
 	buf := copyBufferPool.Get().(*[copyBufferSize]byte)
 	defer copyBufferPool.Put(buf)
-	const chunkHeaderSpace = 16 // for a chunk's head
 	for {
-		n, err := rest.Read(buf[chunkHeaderSpace : copyBufferSize-2])
-		for err == nil && n < copyBufferSize-2-chunkHeaderSpace && rest.Buffered() > 0 { // what has come goes on in one piece
+		n, err := rest.Read(buf[chunkHeaderSpace:chunkDataEnd])
+		for err == nil && n < chunkDataEnd-chunkHeaderSpace && rest.Buffered() > 0 { // what has arrived goes in one write
 			var more int
-			more, err = rest.Read(buf[chunkHeaderSpace+n : copyBufferSize-2])
+			more, err = rest.Read(buf[chunkHeaderSpace+n : chunkDataEnd])
 			n += more
 		}
 		piece := buf[chunkHeaderSpace : chunkHeaderSpace+n]
 		if n > 0 && chunked {
-			head := http1msg.AppendChunkHeader(nil, n)
-			copy(buf[chunkHeaderSpace-len(head):], head)
-			piece = append(buf[chunkHeaderSpace-len(head):chunkHeaderSpace+n], '\r', '\n')
+			header := http1msg.AppendChunkHeader(nil, n)
+			start := chunkHeaderSpace - len(header)
+			copy(buf[start:], header)
+			piece = append(buf[start:chunkHeaderSpace+n], '\r', '\n')
 		}
 		if err == io.EOF && chunked {
 			piece = http1msg.AppendLastChunk(piece, rest.Trailer())
@@ -181,30 +237,34 @@
 		if len(piece) > 0 {
 			x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
 			if _, writeErr := x.conn.Write(piece); writeErr != nil {
-				return false, false
+				return errClientWrite
 			}
 		}
-		if err != nil {
-			return err == io.EOF, err != io.EOF
+		switch err {
+		case nil:
+		case io.EOF:
+			return nil
+		default:
+			return errUpstreamTruncated
 		}
 	}
 }
 
-// appendHead appends a status line and the end-to-end fields of an answer.
-func appendResponseHead(b []byte, code int, h http.Header, connection []string) []byte {
+// appendResponseHead appends a status line and the end-to-end fields of a response, without the empty line.
+func appendResponseHead(b []byte, status int, header http.Header, connection []string) []byte {
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(code), 10)
+	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
-	b = append(b, http.StatusText(code)...)
+	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
-	for k, values := range h {
-		if http1msg.IsHopByHop(k, connection) {
+	for name, values := range header {
+		if http1msg.IsHopByHop(name, connection) {
 			continue
 		}
-		for _, v := range values {
-			b = append(b, k...)
+		for _, value := range values {
+			b = append(b, name...)
 			b = append(b, ": "...)
-			b = append(b, v...)
+			b = append(b, value...)
 			b = append(b, "\r\n"...)
 		}
 	}
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -28,7 +28,7 @@
 		return s.conns.markBusy(c) && x.writeLocal(newLocalResponse(http.StatusOK, "any"), "") // of the server as a whole: it forwards what it is asked
 	}
 	if req.Method == http.MethodConnect {
-		err = &requestError{status: http.StatusNotImplemented, reason: "no tunnels are made here", proxyError: "http_request_denied"}
+		err = &requestError{status: http.StatusNotImplemented, reason: "no tunnels are made here", proxyError: proxyErrDenied}
 	}
 	var rt *Route
 	if err == nil {
@@ -93,9 +93,9 @@
 func (r *Routes) match(req *http.Request, host, path string) (*Route, error) {
 	switch i := r.Table.Match(route.NormalizeHost(host), path, req.Method, req.Header); i {
 	case route.NotFound:
-		return nil, &requestError{status: http.StatusNotFound, reason: "no route", proxyError: "destination_not_found"}
+		return nil, &requestError{status: http.StatusNotFound, reason: "no route", proxyError: proxyErrNotFound}
 	case route.NotAllowed:
-		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "no route takes " + req.Method + " here", proxyError: "http_request_denied"}
+		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "no route takes " + req.Method + " here", proxyError: proxyErrDenied}
 	default:
 		return &r.Routes[i], nil
 	}
