--- a/internal/daemon/spentlog.go
+++ b/internal/daemon/spentlog.go
@@ -44,7 +44,7 @@
 			return
 		}
 		if err := w.Flush(); err != nil {
-			log.Error("peers.spent is not kept any more", "file", path, "error", err)
+			log.Error("spent log failed", "file", path, "error", err)
 		}
 	}()
 	return s, nil
