--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -12,64 +12,64 @@
 )
 
 // truth is how things stand with the endpoints, and what discovery has heard of it.
-type truth struct {
-	run    *run
-	heard  []engine.EndpointInfo // as discovery has it
-	gen    int64
-	stale  monotime.Micros // what it hears comes later by this
-	silent bool            // it says nothing
-	held   []*news
-	groups map[int]*simendpoint.DedupGroup
-	draws  *randstream.Stream
-	count  uint64
-	all    []engine.EndpointInfo // the whole list of a generation
-	allGen int64
-	last   []monotime.Micros // when its last word of each endpoint was heard
+type discoveryService struct {
+	run                *run
+	endpoints          []engine.EndpointInfo // as discovery has it
+	generation         int64
+	extraDelay         monotime.Micros // what it hears comes later by this
+	silent             bool            // it says nothing
+	heldBack           []*watchEvent
+	dedupGroups        map[int]*simendpoint.DedupGroup
+	random             *randstream.Stream
+	changes            uint64
+	fullList           []engine.EndpointInfo // the whole list of a generation
+	fullListGeneration int64
+	lastChangeAt       []monotime.Micros // when its last word of each endpoint was heard
 }
 
-func newTruth(r *run) *truth {
-	t := &truth{run: r, groups: map[int]*simendpoint.DedupGroup{}, draws: randstream.New(r.plan.Seed, "discovery"), gen: 1, last: make([]monotime.Micros, len(r.plan.Endpoints))}
+func newDiscoveryService(r *run) *discoveryService {
+	t := &discoveryService{run: r, dedupGroups: map[int]*simendpoint.DedupGroup{}, random: randstream.New(r.plan.Seed, "discovery"), generation: 1, lastChangeAt: make([]monotime.Micros, len(r.plan.Endpoints))}
 	for i := range r.plan.Endpoints {
-		m := t.member(i, balancer.Ready)
+		m := t.endpointInfo(i, balancer.Ready)
 		if r.plan.Endpoints[i].StartsWithRun {
 			m.StartedAt = clockOrigin
 		}
-		t.heard = append(t.heard, m)
+		t.endpoints = append(t.endpoints, m)
 	}
 	return t
 }
 
 // group returns the endpoints that share which keys they have seen: for as long as the longest window of a class.
-func (t *truth) group(cell int) *simendpoint.DedupGroup {
-	if t.groups[cell] == nil {
+func (t *discoveryService) dedupGroup(cell int) *simendpoint.DedupGroup {
+	if t.dedupGroups[cell] == nil {
 		var window monotime.Micros
-		for _, c := range t.run.o.Criteria.Classes {
+		for _, c := range t.run.options.Criteria.Classes {
 			if c.Idempotency == balancer.IdempotentByKey {
 				window = max(window, c.DedupWindow)
 			}
 		}
-		t.groups[cell] = simendpoint.NewDedupGroup(window)
+		t.dedupGroups[cell] = simendpoint.NewDedupGroup(window)
 	}
-	return t.groups[cell]
+	return t.dedupGroups[cell]
 }
 
 // member is an endpoint's entry.
-func (t *truth) member(n int, state balancer.EndpointState) engine.EndpointInfo {
+func (t *discoveryService) endpointInfo(n int, state balancer.EndpointState) engine.EndpointInfo {
 	p := &t.run.plan.Endpoints[n]
 	return engine.EndpointInfo{Name: p.Name, Addr: strconv.Itoa(n), Zone: t.run.plan.Fleet.Zones[p.Zone], Kind: t.run.plan.Scenario.EndpointKinds[p.Kind].Kind,
 		Cell: uint16(p.Cell), State: state, Weight: float32(p.Config.Cores)}
 }
 
 // news is a word of discovery to an instance.
-type news struct {
-	in   *instance
-	life uint32
-	told engine.EndpointUpdate
+type watchEvent struct {
+	instance    *instance
+	incarnation uint32
+	update      engine.EndpointUpdate
 }
 
 // change tells discovery how it now stands with an endpoint, after the time that it takes to hear of it. vanished says
 // that nobody told it: the endpoint has fallen silent.
-func (t *truth) change(n int, state balancer.EndpointState, vanished bool) {
+func (t *discoveryService) endpointChanged(n int, state balancer.EndpointState, vanished bool) {
 	r, d := t.run, &t.run.plan.Discovery
 	after := d.Add
 	switch {
@@ -80,30 +80,30 @@
 	case state == balancer.Gone:
 		after = d.Gone
 	}
-	t.count++
+	t.changes++
 	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
-	heard := r.now + monotime.Micros(lo+(hi-lo)*t.draws.For(uint64(n), t.count).Float64()) + t.stale
-	heard = max(heard, t.last[n]+1) // its words keep their order
-	t.last[n] = heard
-	m := t.member(n, state)
+	heard := r.now + monotime.Micros(lo+(hi-lo)*t.random.For(uint64(n), t.changes).Float64()) + t.extraDelay
+	heard = max(heard, t.lastChangeAt[n]+1) // its words keep their order
+	t.lastChangeAt[n] = heard
+	m := t.endpointInfo(n, state)
 	if state == balancer.Ready {
 		m.StartedAt = clockOrigin + r.now
 	}
-	r.queue.push(heard, evHeard, uint32(n), m)
+	r.events.push(heard, discoveryNotified, uint32(n), m)
 }
 
 // hear is the arrival of a word at discovery, which passes it on.
-func (t *truth) hear(n int, m engine.EndpointInfo) {
-	t.heard[n] = m
-	t.gen++
+func (t *discoveryService) publish(n int, m engine.EndpointInfo) {
+	t.endpoints[n] = m
+	t.generation++
 	members := []engine.EndpointInfo{m}
 	for _, in := range t.run.instances {
-		if !in.knows(n) {
+		if !in.subscribedTo(n) {
 			continue
 		}
-		x := &news{in: in, life: in.life, told: engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: t.gen, Endpoints: members}}
+		x := &watchEvent{instance: in, incarnation: in.incarnation, update: engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: t.generation, Endpoints: members}}
 		if t.silent {
-			t.held = append(t.held, x)
+			t.heldBack = append(t.heldBack, x)
 			continue
 		}
 		t.send(x)
@@ -111,35 +111,35 @@
 }
 
 // send sends a word on its way; an instance hears them in their order.
-func (t *truth) send(x *news) {
-	in := x.in
+func (t *discoveryService) send(x *watchEvent) {
+	in := x.instance
 	spread := float64(t.run.plan.Discovery.Spread.Micros())
-	in.last = max(in.last+1, t.run.now+1+monotime.Micros(spread*t.draws.For(uint64(in.n)|1<<62, uint64(t.gen)).Float64()))
-	t.run.queue.push(in.last, evTold, 0, x)
+	in.lastWatchEventAt = max(in.lastWatchEventAt+1, t.run.now+1+monotime.Micros(spread*t.random.For(uint64(in.index)|1<<62, uint64(t.generation)).Float64()))
+	t.run.events.push(in.lastWatchEventAt, watchEventArrives, 0, x)
 }
 
-func (w *news) arrive() {
-	if w.in.down || w.life != w.in.life {
+func (w *watchEvent) arrive() {
+	if w.instance.down || w.incarnation != w.instance.incarnation {
 		return
 	}
-	if w.in.deaf > 0 {
-		w.in.held = append(w.in.held, w)
+	if w.instance.discoveryBlocks > 0 {
+		w.instance.heldEvents = append(w.instance.heldEvents, w)
 		return
 	}
-	w.in.tell(w.told)
-	w.in.settle()
+	w.instance.updateEndpoints(w.update)
+	w.instance.advanceEngine()
 }
 
 // hears ends what kept discovery's words from an instance: it is told what it missed, or all if it knows nothing.
-func (in *instance) hears() {
-	if in.deaf--; in.deaf > 0 || in.down {
+func (in *instance) resumeDiscovery() {
+	if in.discoveryBlocks--; in.discoveryBlocks > 0 || in.down {
 		return
 	}
-	held := in.held
-	in.held = nil
-	if !in.listed {
-		in.tell(in.run.truth.whole(in))
-		in.settle()
+	held := in.heldEvents
+	in.heldEvents = nil
+	if !in.hasEndpointList {
+		in.updateEndpoints(in.run.discovery.snapshot(in))
+		in.advanceEngine()
 		return
 	}
 	for _, w := range held {
@@ -148,25 +148,25 @@
 }
 
 // tell tells an instance's engine.
-func (in *instance) tell(t engine.EndpointUpdate) {
-	in.listed = true
+func (in *instance) updateEndpoints(t engine.EndpointUpdate) {
+	in.hasEndpointList = true
 	for _, m := range t.Endpoints {
 		n, err := strconv.Atoi(m.Addr)
 		if err != nil {
 			panic(err) // it is what truth.member wrote
 		}
 		if m.State == balancer.Ready {
-			delete(in.told, n)
-		} else if _, known := in.told[n]; !known {
-			in.told[n] = in.run.now
+			delete(in.leavingSince, n)
+		} else if _, known := in.leavingSince[n]; !known {
+			in.leavingSince[n] = in.run.now
 		}
 	}
-	in.pool.UpdateEndpoints(in.local(), t)
+	in.pool.UpdateEndpoints(in.localTime(), t)
 }
 
 // knows says whether an instance is told of an endpoint.
-func (in *instance) knows(n int) bool {
-	mine := in.run.plan.Instances[in.n].Endpoints
+func (in *instance) subscribedTo(n int) bool {
+	mine := in.run.plan.Instances[in.index].Endpoints
 	if mine == nil {
 		return true
 	}
@@ -175,54 +175,54 @@
 }
 
 // whole is the whole list for an instance.
-func (t *truth) whole(in *instance) engine.EndpointUpdate {
-	told := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: t.gen}
-	if mine := t.run.plan.Instances[in.n].Endpoints; mine != nil {
+func (t *discoveryService) snapshot(in *instance) engine.EndpointUpdate {
+	told := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: t.generation}
+	if mine := t.run.plan.Instances[in.index].Endpoints; mine != nil {
 		for _, n := range mine {
-			if t.heard[n].State != balancer.Gone {
-				told.Endpoints = append(told.Endpoints, t.heard[n])
+			if t.endpoints[n].State != balancer.Gone {
+				told.Endpoints = append(told.Endpoints, t.endpoints[n])
 			}
 		}
 		return told
 	}
-	if t.all == nil || t.allGen != t.gen {
+	if t.fullList == nil || t.fullListGeneration != t.generation {
 		var all []engine.EndpointInfo
-		for _, m := range t.heard {
+		for _, m := range t.endpoints {
 			if m.State != balancer.Gone {
 				all = append(all, m)
 			}
 		}
-		t.all, t.allGen = all, t.gen
+		t.fullList, t.fullListGeneration = all, t.generation
 	}
-	told.Endpoints = t.all
+	told.Endpoints = t.fullList
 	return told
 }
 
 // watch is what a balancer asks for that has to ask: it is answered with the whole list, or not at all.
-func (in *instance) watch(on bool) {
+func (in *instance) setWatch(on bool) {
 	if !on || !in.run.settings.Site.Settings.Subscribe {
 		return
 	}
-	t := in.run.truth
-	x := &news{in: in, life: in.life, told: t.whole(in)}
+	t := in.run.discovery
+	x := &watchEvent{instance: in, incarnation: in.incarnation, update: t.snapshot(in)}
 	if t.silent {
-		x.told = engine.EndpointUpdate{Kind: balancer.ListFailed}
+		x.update = engine.EndpointUpdate{Kind: balancer.ListFailed}
 	}
-	in.run.queue.push(in.run.now+1000, evTold, 0, x)
+	in.run.events.push(in.run.now+1000, watchEventArrives, 0, x)
 }
 
 // speak ends discovery's silence: what it has held back it says now.
-func (t *truth) speak() {
+func (t *discoveryService) resume() {
 	t.silent = false
-	for _, x := range t.held {
-		if x.life == x.in.life {
+	for _, x := range t.heldBack {
+		if x.incarnation == x.instance.incarnation {
 			t.send(x)
 		}
 	}
-	t.held = nil
+	t.heldBack = nil
 	for _, in := range t.run.instances { // those that began meanwhile know nothing
-		if !in.down && !in.listed {
-			t.send(&news{in: in, life: in.life, told: t.whole(in)})
+		if !in.down && !in.hasEndpointList {
+			t.send(&watchEvent{instance: in, incarnation: in.incarnation, update: t.snapshot(in)})
 		}
 	}
 }
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -10,18 +10,18 @@
 )
 
 // schedule schedules what happens.
-func (r *run) schedule() {
+func (r *run) scheduleEvents() {
 	for i := range r.plan.PlannedEvents {
 		h := &r.plan.PlannedEvents[i]
-		r.queue.push(h.At, evBegin, uint32(i), nil)
+		r.events.push(h.At, plannedEventStarts, uint32(i), nil)
 		if h.Until < math.MaxInt64 && h.What != "rolling" && h.What != "pause" {
-			r.queue.push(h.Until, evOver, uint32(i), nil)
+			r.events.push(h.Until, plannedEventEnds, uint32(i), nil)
 		}
 	}
 }
 
 // conditions sets what goes wrong at an endpoint by all that happens now.
-func (r *run) conditions(n int) {
+func (r *run) updateCondition(n int) {
 	var c simendpoint.Condition
 	for i := range r.plan.PlannedEvents {
 		h := &r.plan.PlannedEvents[i]
@@ -30,31 +30,31 @@
 		}
 		for j, at := range h.Endpoints {
 			if at == n {
-				h.AddCondition(&c, r.now, j, r.classOf)
+				h.AddCondition(&c, r.now, j, r.criteriaClass)
 			}
 		}
 	}
 	e := r.endpoints[n]
-	e.work()
-	e.node.SetCondition(c)
-	e.arm()
+	e.advance()
+	e.model.SetCondition(c)
+	e.scheduleWakeup()
 }
 
 // begins has something begin.
-func (r *run) begins(i int) {
+func (r *run) startEvent(i int) {
 	h := &r.plan.PlannedEvents[i]
 	switch h.What {
 	case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
 		for _, n := range h.Endpoints {
-			r.conditions(n)
+			r.updateCondition(n)
 		}
 	case "neighbour":
-		r.step(i, 0)
+		r.stepEvent(i, 0)
 	case "pause":
 		for _, n := range h.Endpoints {
 			e := r.endpoints[n]
-			e.work()
-			e.node.Pause(r.now, h.Until-h.At)
+			e.advance()
+			e.model.Pause(r.now, h.Until-h.At)
 		}
 	case "drain":
 		for _, n := range h.Endpoints {
@@ -62,46 +62,46 @@
 		}
 	case "kill":
 		for _, n := range h.Endpoints {
-			r.kill(n, false)
+			r.killEndpoint(n, false)
 		}
 	case "vanish":
 		for _, n := range h.Endpoints {
-			r.kill(n, true)
+			r.killEndpoint(n, true)
 		}
 	case "rolling":
-		r.step(i, 0)
+		r.stepEvent(i, 0)
 	case "cut":
 		r.network.cuts = append(r.network.cuts, [2]int{h.Zone, h.To})
 	case "stale":
-		r.truth.stale += h.Delay
+		r.discovery.extraDelay += h.Delay
 	case "silent":
-		r.truth.silent = true
+		r.discovery.silent = true
 	case "restart":
 		for _, n := range h.Instances {
 			r.killInstance(r.instances[n])
 			if h.Until == math.MaxInt64 {
-				r.queue.push(r.now+second, evBack, 0, r.instances[n])
+				r.events.push(r.now+second, instanceRestarts, 0, r.instances[n])
 			}
 		}
 	case "limits":
-		r.limits(h, h.Sizes[0])
+		r.scaleTenantLimits(h, h.Sizes[0])
 	case "upgrade":
 		for _, n := range h.Instances {
 			if in := r.instances[n]; !in.down {
-				in.replaced()
+				in.upgrade()
 			}
 		}
 	case "freeze":
-		r.step(i, 0)
+		r.stepEvent(i, 0)
 	case "deaf":
 		for _, n := range h.Instances {
-			r.instances[n].deaf++
+			r.instances[n].discoveryBlocks++
 		}
 	case "sever":
-		r.severs = append(r.severs, i)
+		r.blockingEvents = append(r.blockingEvents, i)
 	case "power":
 		for n := range r.endpoints {
-			r.kill(n, false)
+			r.killEndpoint(n, false)
 		}
 		for _, in := range r.instances {
 			r.killInstance(in)
@@ -109,13 +109,13 @@
 	}
 }
 
-func (r *run) kill(n int, silent bool) {
+func (r *run) killEndpoint(n int, silent bool) {
 	e := r.endpoints[n]
-	if !e.node.Up() {
+	if !e.model.Up() {
 		return
 	}
 	e.kill(silent)
-	r.truth.change(n, balancer.Gone, silent)
+	r.discovery.endpointChanged(n, balancer.Gone, silent)
 }
 
 // killInstance kills an instance with all that it holds: its clients see their connections break.
@@ -123,15 +123,15 @@
 	if in.down {
 		return
 	}
-	for _, t := range in.open {
+	for _, t := range in.inFlight {
 		r.meter.Costs.KilledInFlight++
-		r.queue.push(r.now+r.network.client(t.story.ID, t.Number, true), evBroken, 0, t)
+		r.events.push(r.now+r.network.clientDelay(t.operation.ID, t.Number, true), clientConnReset, 0, t)
 	}
 	in.kill()
 }
 
 // limits has instances go by other limits of tenants.
-func (r *run) limits(h *scenario.PlannedEvent, times float64) {
+func (r *run) scaleTenantLimits(h *scenario.PlannedEvent, times float64) {
 	var all []float64
 	for _, v := range r.settings.Site.TenantLimits {
 		all = append(all, v*times)
@@ -144,12 +144,12 @@
 }
 
 // ends has something end.
-func (r *run) ends(i int) {
+func (r *run) endEvent(i int) {
 	h := &r.plan.PlannedEvents[i]
 	switch h.What {
 	case "slow", "errors", "mute", "full", "lies", "babble", "late-reports", "neighbour":
 		for _, n := range h.Endpoints {
-			r.conditions(n)
+			r.updateCondition(n)
 		}
 	case "drain", "kill", "vanish":
 		for _, n := range h.Endpoints {
@@ -163,9 +163,9 @@
 			}
 		}
 	case "stale":
-		r.truth.stale -= h.Delay
+		r.discovery.extraDelay -= h.Delay
 	case "silent":
-		r.truth.speak()
+		r.discovery.resume()
 	case "restart":
 		for _, n := range h.Instances {
 			if in := r.instances[n]; in.down {
@@ -173,13 +173,13 @@
 			}
 		}
 	case "limits":
-		r.limits(h, 1)
+		r.scaleTenantLimits(h, 1)
 	case "deaf":
 		for _, n := range h.Instances {
-			r.instances[n].hears()
+			r.instances[n].resumeDiscovery()
 		}
 	case "sever":
-		r.severs = slices.DeleteFunc(r.severs, func(at int) bool { return at == i })
+		r.blockingEvents = slices.DeleteFunc(r.blockingEvents, func(at int) bool { return at == i })
 	case "power":
 		for _, e := range r.endpoints {
 			e.start(false)
@@ -193,7 +193,7 @@
 }
 
 // step goes on with what happens in steps: a neighbour on and off, or endpoints restarted one after another.
-func (r *run) step(i, at int) {
+func (r *run) stepEvent(i, at int) {
 	h := &r.plan.PlannedEvents[i]
 	if r.now >= h.Until {
 		return
@@ -203,18 +203,18 @@
 		until, frozen := h.Frozen(r.now)
 		for _, n := range h.Instances {
 			if frozen {
-				r.instances[n].frozen = max(r.instances[n].frozen, until)
+				r.instances[n].frozenUntil = max(r.instances[n].frozenUntil, until)
 			}
 		}
 		if h.Every > 0 {
-			r.queue.push(r.now+h.Every, evStep, uint32(i), at+1)
+			r.events.push(r.now+h.Every, plannedEventSteps, uint32(i), at+1)
 		}
 	case "neighbour":
 		for _, n := range h.Endpoints {
-			r.conditions(n)
+			r.updateCondition(n)
 		}
 		if h.Every > 0 {
-			r.queue.push(r.now+h.Every, evStep, uint32(i), at+1)
+			r.events.push(r.now+h.Every, plannedEventSteps, uint32(i), at+1)
 		}
 	case "rolling":
 		if at >= len(h.Endpoints) {
@@ -222,7 +222,7 @@
 		}
 		// It has its time to drain, and comes up again as the next one begins.
 		r.endpoints[h.Endpoints[at]].drain()
-		r.queue.push(r.now+h.Every, evStart, uint32(h.Endpoints[at]), nil)
-		r.queue.push(r.now+h.Every, evStep, uint32(i), at+1)
+		r.events.push(r.now+h.Every, endpointStarts, uint32(h.Endpoints[at]), nil)
+		r.events.push(r.now+h.Every, plannedEventSteps, uint32(i), at+1)
 	}
 }
--- a/internal/simulation/instances_test.go
+++ b/internal/simulation/instances_test.go
@@ -4,7 +4,7 @@
 
 // What happens to instances and on their ways shows where it happens, and nowhere else: stopped ones answer nothing until they
 // go on, severed ways carry nothing that way, deaf ones keep the list that they have.
-func TestInstancesInTrouble(t *testing.T) {
+func TestInstanceFaultsStayLocal(t *testing.T) {
 	figures := func(event string) map[string]float64 { return play(t, event, 3, testSettings(), nil).Figures }
 	calm := figures("")
 	for _, c := range []struct {
--- a/internal/simulation/measure/measure.go
+++ b/internal/simulation/measure/measure.go
@@ -229,8 +229,8 @@
 	m.digest.Write(text[:])
 }
 
-func (w *weightSum) add(asked, earned float64) {
-	w.offered += asked
+func (w *weightSum) add(offered, earned float64) {
+	w.offered += offered
 	w.earned += earned
 }
 
@@ -448,8 +448,8 @@
 
 // Labour tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
 // was at work, and how long all took; 0 is that not all are back.
-func (m *Meter) RecordMaintenance(asked, back, sent int, took monotime.Micros) {
-	m.maintenance = map[string]float64{"work_sent": float64(sent), "work_left": float64(asked - back), "work_took": float64(took) / float64(second)}
+func (m *Meter) RecordMaintenance(requested, returned, sent int, took monotime.Micros) {
+	m.maintenance = map[string]float64{"work_sent": float64(sent), "work_left": float64(requested - returned), "work_took": float64(took) / float64(second)}
 }
 
 // Figure describes a figure of a Result.
--- a/internal/simulation/measure/spent.go
+++ b/internal/simulation/measure/spent.go
@@ -19,7 +19,7 @@
 
 // figures adds what the worst second of any tenant's limit comes to, and what part of the limits was used in the
 // seconds in which more was asked for. Of budgets that grow with what is accepted the endpoints' figures tell.
-func (s quotaSpending) figures(f map[string]float64, j *Criteria, asked map[int][]int) {
+func (s quotaSpending) figures(f map[string]float64, j *Criteria, demand map[int][]int) {
 	f["over_budget"], f["beyond_limit"], f["budget_use"] = 0, 0, 1
 	var could, used float64
 	for i, t := range j.Tenants {
@@ -32,13 +32,13 @@
 		worst, beyond := PeakSecond(at, limit)
 		f["over_budget"] = max(f["over_budget"], float64(worst)/limit)
 		f["beyond_limit"] += float64(beyond)
-		each := make([]float64, len(asked[i]))
+		each := make([]float64, len(demand[i]))
 		for _, v := range at {
 			if n := v / second; n >= 0 && n < monotime.Micros(len(each)) {
 				each[n]++
 			}
 		}
-		for n, want := range asked[i] {
+		for n, want := range demand[i] {
 			if float64(want) >= contendedDemand*limit {
 				could += limit
 				used += min(each[n], limit)
--- a/internal/simulation/model.go
+++ b/internal/simulation/model.go
@@ -91,50 +91,50 @@
 const clockOrigin monotime.Micros = 1_700_000_000_000_000
 
 // afterEnd bounds how long a run goes on after its last story began.
-const afterEnd = 120 * second
+const maxDrainTime = 120 * second
 
 // run is a run that is under way.
 type run struct {
-	o        Options
+	options  Options
 	plan     *scenario.Plan
 	settings *Settings
 	now      monotime.Micros
-	queue    queue
-
-	classOf   []int // place among the judge's classes of each of the plan's
-	ownClass  []int // and among the settings' of each of the judge's
-	tenantOf  []int
-	ownTenant []int
-	habits    simclient.Behavior
-
-	instances []*instance
-	endpoints []*endpoint
-	severs    []int // happenings that keep ways apart
-	truth     *truth
-	network   network
-
-	noise, luck, callers, reports *randstream.Stream
-	meter                         *measure.Meter
-	open                          int // stories
-	arriving                      int // instances that have stories to come
-	words                         uint64
+	events   eventQueue
+
+	criteriaClass  []int // place among the judge's classes of each of the plan's
+	settingsClass  []int // and among the settings' of each of the judge's
+	criteriaTenant []int
+	settingsTenant []int
+	behavior       simclient.Behavior
+
+	instances      []*instance
+	endpoints      []*endpoint
+	blockingEvents []int // happenings that keep ways apart
+	discovery      *discoveryService
+	network        network
+
+	workRand, faultRand, clientRand, reportRand *randstream.Stream
+	meter                                       *measure.Meter
+	pendingOperations                           int // stories
+	instancesWithArrivals                       int // instances that have stories to come
+	fleetMessages                               uint64
 }
 
 // Run plays a plan, or returns the error of settings that do not fit it. When ctx ends it returns its cause.
 func Run(ctx context.Context, o Options) (*measure.Result, error) {
-	began := time.Now()
-	r := &run{o: o, plan: o.Plan, settings: o.Settings, habits: o.Plan.ClientBehavior()}
-	if err := r.fit(); err != nil {
+	startedAt := time.Now()
+	r := &run{options: o, plan: o.Plan, settings: o.Settings, behavior: o.Plan.ClientBehavior()}
+	if err := r.mapNames(); err != nil {
 		return nil, err
 	}
 	if o.Plan.Replay != nil && o.Plan.Source == nil {
 		return nil, errors.New("the scenario plays a record again, and that was not read")
 	}
 	seed := o.Plan.Seed
-	r.noise, r.luck, r.callers, r.reports = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "reports")
+	r.workRand, r.faultRand, r.clientRand, r.reportRand = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "reports")
 	r.meter = measure.New(o.Criteria, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
 	r.network = newNetwork(o.Plan)
-	r.truth = newTruth(r)
+	r.discovery = newDiscoveryService(r)
 	for i := range o.Plan.Endpoints {
 		r.endpoints = append(r.endpoints, newEndpoint(r, i))
 	}
@@ -147,104 +147,104 @@
 	}
 	for _, in := range r.instances {
 		in.start(true)
-		r.nextStory(in)
+		r.scheduleNextOperation(in)
 	}
-	r.schedule()
+	r.scheduleEvents()
 	r.meter.SetFaultPeriod(r.plan.EventPeriod())
 	r.meter.SetEnvironment(measure.Environment{Capacity: r.plan.CapacityAt, Serving: r.plan.InstanceServing})
 	if err := r.play(ctx); err != nil {
 		return nil, err
 	}
 	result := r.meter.Result()
-	result.Scenario, result.Seed, result.Elapsed = o.Plan.Name, seed, time.Since(began)
+	result.Scenario, result.Seed, result.Elapsed = o.Plan.Name, seed, time.Since(startedAt)
 	for i, e := range r.endpoints {
 		n := &o.Plan.Endpoints[i]
-		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.runs, MaxInFlight: e.most, Arrivals: e.line,
-			Utilization: float64(e.node.WorkDone()) / n.Config.Speed / float64(n.Config.Cores) / float64(max(r.now, 1))})
+		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight, Arrivals: e.arrivals,
+			Utilization: float64(e.model.WorkDone()) / n.Config.Speed / float64(n.Config.Cores) / float64(max(r.now, 1))})
 	}
 	return result, nil
 }
 
 // fit finds the plan's classes and tenants among the judge's and the settings'.
-func (r *run) fit() error {
+func (r *run) mapNames() error {
 	for _, c := range r.plan.Classes {
-		at := slices.IndexFunc(r.o.Criteria.Classes, func(j balancer.Class) bool { return j.Name == c.Name })
+		at := slices.IndexFunc(r.options.Criteria.Classes, func(j balancer.Class) bool { return j.Name == c.Name })
 		if at < 0 {
 			return fmt.Errorf("the scenario's class %q is none of the settings' classes", c.Name)
 		}
-		r.classOf = append(r.classOf, at)
+		r.criteriaClass = append(r.criteriaClass, at)
 	}
 	for _, t := range r.plan.Tenants {
-		at := slices.IndexFunc(r.o.Criteria.Tenants, func(j balancer.Tenant) bool { return j.Name == t.Name })
+		at := slices.IndexFunc(r.options.Criteria.Tenants, func(j balancer.Tenant) bool { return j.Name == t.Name })
 		if at < 0 {
 			return fmt.Errorf("the scenario's tenant %q is none of the settings' tenants", t.Name)
 		}
-		r.tenantOf = append(r.tenantOf, at)
+		r.criteriaTenant = append(r.criteriaTenant, at)
 	}
-	for _, c := range r.o.Criteria.Classes {
+	for _, c := range r.options.Criteria.Classes {
 		at := slices.Index(r.settings.Site.Classes, c.Name)
 		if at < 0 {
 			return fmt.Errorf("the class %q, by which is judged, is missing in these settings", c.Name)
 		}
-		r.ownClass = append(r.ownClass, at)
+		r.settingsClass = append(r.settingsClass, at)
 	}
-	for _, t := range r.o.Criteria.Tenants {
+	for _, t := range r.options.Criteria.Tenants {
 		at := slices.Index(r.settings.Site.Tenants, t.Name)
 		if at < 0 {
 			return fmt.Errorf("the tenant %q, by whom is judged, is missing in these settings", t.Name)
 		}
-		r.ownTenant = append(r.ownTenant, at)
+		r.settingsTenant = append(r.settingsTenant, at)
 	}
 	return nil
 }
 
 // kind is what kind of event happens.
-type kind uint8
+type eventKind uint8
 
 const (
-	evArrive    kind = iota // n: an instance; the next story begins there
-	evTry                   // p: *story; its next try begins
-	evSubmit                // p: *try; its request is whole at the instance
-	evRefused               // p: *try; the instance's machine refuses its connection
-	evAnswer                // p: *try; its answer is at the client
-	evBroken                // p: *try; the client sees its connection break
-	evLeave                 // p: *try; the client has waited long enough, or leaves
-	evWake                  // p: *instance; its engine has something due
-	evConnected             // p: *sending; its connection stands, at the instance
-	evNoConn                // p: *sending; it has none
-	evReach                 // p: *sending; it is at the endpoint
-	evReply                 // p: *sending; its reply is at the instance
-	evClosed                // p: *sending; the endpoint sees that its sender has gone
-	evNode                  // n: an endpoint that has finished something
-	evProbe                 // p: *probe; it is at the endpoint
-	evProbed                // p: *probe; its answer is at the instance
-	evHeard                 // n: an endpoint, p: engine.Member; discovery hears how it stands with it
-	evTold                  // p: *news; discovery's word is at an instance
-	evBegin                 // n: a happening begins
-	evOver                  // n: a happening ends
-	evStep                  // n: a happening goes on, at its next endpoint or phase; p: how far
-	evStart                 // n: an endpoint starts
-	evBack                  // p: *instance; it starts anew
-	evPause                 // n: an endpoint stops for a moment
-	evWord                  // p: *word; it is at its instance
-	evGone                  // p: *try; its instance goes on and sees that its client has left
+	operationArrives    eventKind = iota // n: an instance; the next story begins there
+	requestRetried                       // p: *story; its next try begins
+	requestAtInstance                    // p: *try; its request is whole at the instance
+	connRejected                         // p: *try; the instance's machine refuses its connection
+	responseAtClient                     // p: *try; its answer is at the client
+	clientConnReset                      // p: *try; the client sees its connection break
+	clientTimeout                        // p: *try; the client has waited long enough, or leaves
+	instanceWakeup                       // p: *instance; its engine has something due
+	attemptConnected                     // p: *sending; its connection stands, at the instance
+	dialFailed                           // p: *sending; it has none
+	attemptAtEndpoint                    // p: *sending; it is at the endpoint
+	replyAtInstance                      // p: *sending; its reply is at the instance
+	attemptAborted                       // p: *sending; the endpoint sees that its sender has gone
+	endpointWakeup                       // n: an endpoint that has finished something
+	probeAtEndpoint                      // p: *probe; it is at the endpoint
+	probeReplied                         // p: *probe; its answer is at the instance
+	discoveryNotified                    // n: an endpoint, p: engine.Member; discovery hears how it stands with it
+	watchEventArrives                    // p: *news; discovery's word is at an instance
+	plannedEventStarts                   // n: a happening begins
+	plannedEventEnds                     // n: a happening ends
+	plannedEventSteps                    // n: a happening goes on, at its next endpoint or phase; p: how far
+	endpointStarts                       // n: an endpoint starts
+	instanceRestarts                     // p: *instance; it starts anew
+	endpointPauses                       // n: an endpoint stops for a moment
+	fleetMessageArrives                  // p: *word; it is at its instance
+	clientGoneNoticed                    // p: *try; its instance goes on and sees that its client has left
 )
 
 // play handles events until there are none that matter any more.
 func (r *run) play(ctx context.Context) error {
 	end := r.plan.Length.Micros()
-	for n := 0; r.queue.len() > 0; n++ {
+	for n := 0; r.events.len() > 0; n++ {
 		if n&0xfff == 0 {
 			if ctx.Err() != nil {
 				return context.Cause(ctx)
 			}
-			if r.o.Progress != nil {
-				r.o.Progress(r.now)
+			if r.options.Progress != nil {
+				r.options.Progress(r.now)
 			}
 		}
-		e := r.queue.pop()
+		e := r.events.pop()
 		r.now = e.at
-		if r.open == 0 && r.arriving == 0 && r.now >= end || r.now > end+afterEnd {
+		if r.pendingOperations == 0 && r.instancesWithArrivals == 0 && r.now >= end || r.now > end+maxDrainTime {
 			return nil
 		}
 		r.handle(&e)
@@ -253,86 +253,86 @@
 }
 
 func (r *run) handle(e *event) {
-	if in := host(e); in != nil && in.frozen > r.now && !in.down {
-		if e.kind == evWake {
-			in.wakeAt = in.frozen
+	if in := handlingInstance(e); in != nil && in.frozenUntil > r.now && !in.down {
+		if e.kind == instanceWakeup {
+			in.wakeupAt = in.frozenUntil
 		}
-		r.queue.push(in.frozen, e.kind, e.n, e.p)
+		r.events.push(in.frozenUntil, e.kind, e.index, e.target)
 		return
 	}
 	switch e.kind {
-	case evArrive:
-		r.arrive(r.instances[e.n])
-	case evTry:
-		r.again(e.p.(*story))
-	case evSubmit:
-		e.p.(*try).submit()
-	case evRefused:
-		e.p.(*try).over(simclient.NoResponse, 0)
-	case evAnswer:
-		e.p.(*try).answered()
-	case evBroken:
-		e.p.(*try).over(simclient.NoResponse, 0)
-	case evLeave:
-		e.p.(*try).leave()
-	case evWake:
-		e.p.(*instance).woken(e.at)
-	case evConnected:
-		e.p.(*sending).connected()
-	case evNoConn:
-		e.p.(*sending).unconnected()
-	case evReach:
-		e.p.(*sending).reach()
-	case evReply:
-		e.p.(*sending).replied()
-	case evClosed:
-		e.p.(*sending).closed()
-	case evNode:
-		r.endpoints[e.n].woken(e.at)
-	case evProbe:
-		e.p.(*probe).reach()
-	case evProbed:
-		e.p.(*probe).answered()
-	case evHeard:
-		r.truth.hear(int(e.n), e.p.(engine.EndpointInfo))
-	case evTold:
-		e.p.(*news).arrive()
-	case evBegin:
-		r.begins(int(e.n))
-	case evOver:
-		r.ends(int(e.n))
-	case evStep:
-		r.step(int(e.n), e.p.(int))
-	case evStart:
-		r.endpoints[e.n].start(false)
-	case evBack:
-		e.p.(*instance).start(false)
-	case evPause:
-		r.endpoints[e.n].pause()
-	case evWord:
-		e.p.(*word).arrive()
-	case evGone:
-		if t := e.p.(*try); t.life == t.in.life && !t.in.down {
-			t.in.left(t)
+	case operationArrives:
+		r.startOperation(r.instances[e.index])
+	case requestRetried:
+		r.retryOperation(e.target.(*operation))
+	case requestAtInstance:
+		e.target.(*clientRequest).submit()
+	case connRejected:
+		e.target.(*clientRequest).end(simclient.NoResponse, 0)
+	case responseAtClient:
+		e.target.(*clientRequest).responseArrived()
+	case clientConnReset:
+		e.target.(*clientRequest).end(simclient.NoResponse, 0)
+	case clientTimeout:
+		e.target.(*clientRequest).clientLeaves()
+	case instanceWakeup:
+		e.target.(*instance).onWakeup(e.at)
+	case attemptConnected:
+		e.target.(*attempt).connected()
+	case dialFailed:
+		e.target.(*attempt).dialFailed()
+	case attemptAtEndpoint:
+		e.target.(*attempt).arriveAtEndpoint()
+	case replyAtInstance:
+		e.target.(*attempt).replyArrived()
+	case attemptAborted:
+		e.target.(*attempt).abortNoticed()
+	case endpointWakeup:
+		r.endpoints[e.index].onWakeup(e.at)
+	case probeAtEndpoint:
+		e.target.(*probe).arriveAtEndpoint()
+	case probeReplied:
+		e.target.(*probe).replyArrived()
+	case discoveryNotified:
+		r.discovery.publish(int(e.index), e.target.(engine.EndpointInfo))
+	case watchEventArrives:
+		e.target.(*watchEvent).arrive()
+	case plannedEventStarts:
+		r.startEvent(int(e.index))
+	case plannedEventEnds:
+		r.endEvent(int(e.index))
+	case plannedEventSteps:
+		r.stepEvent(int(e.index), e.target.(int))
+	case endpointStarts:
+		r.endpoints[e.index].start(false)
+	case instanceRestarts:
+		e.target.(*instance).start(false)
+	case endpointPauses:
+		r.endpoints[e.index].pause()
+	case fleetMessageArrives:
+		e.target.(*fleetMessage).arrive()
+	case clientGoneNoticed:
+		if t := e.target.(*clientRequest); t.incarnation == t.instance.incarnation && !t.instance.down {
+			t.instance.clientGone(t)
 		}
 	}
 }
 
 // host is the instance whose process handles an event, nil for what happens elsewhere.
-func host(e *event) *instance {
+func handlingInstance(e *event) *instance {
 	switch e.kind {
-	case evSubmit, evGone:
-		return e.p.(*try).in
-	case evWake:
-		return e.p.(*instance)
-	case evConnected, evNoConn, evReply:
-		return e.p.(*sending).in
-	case evProbed:
-		return e.p.(*probe).in
-	case evTold:
-		return e.p.(*news).in
-	case evWord:
-		return e.p.(*word).to
+	case requestAtInstance, clientGoneNoticed:
+		return e.target.(*clientRequest).instance
+	case instanceWakeup:
+		return e.target.(*instance)
+	case attemptConnected, dialFailed, replyAtInstance:
+		return e.target.(*attempt).instance
+	case probeReplied:
+		return e.target.(*probe).instance
+	case watchEventArrives:
+		return e.target.(*watchEvent).instance
+	case fleetMessageArrives:
+		return e.target.(*fleetMessage).to
 	}
 	return nil
 }
@@ -340,155 +340,155 @@
 // ---- Clients ---------------------------------------------------------------
 
 // story is a client's, with what the run needs of it.
-type story struct {
+type operation struct {
 	simclient.Operation
-	run    *run
-	class  *balancer.Class // the judge's
-	worth  float64
-	within bool
-	ended  bool
-	try    *try // the present one
+	run         *run
+	class       *balancer.Class // the judge's
+	weight      float64
+	withinQuota bool
+	ended       bool
+	current     *clientRequest // the present one
 }
 
 // nextStory schedules the next story of an instance.
-func (r *run) nextStory(in *instance) {
-	if in.stories == nil {
-		in.stories = r.plan.Operations(in.n)
-		r.arriving++
+func (r *run) scheduleNextOperation(in *instance) {
+	if in.operations == nil {
+		in.operations = r.plan.Operations(in.index)
+		r.instancesWithArrivals++
 	}
-	s, ok := in.stories()
+	s, ok := in.operations()
 	if !ok {
-		r.arriving--
+		r.instancesWithArrivals--
 		return
 	}
-	in.next = s
-	r.queue.push(s.StartedAt, evArrive, uint32(in.n), nil)
+	in.nextOperation = s
+	r.events.push(s.StartedAt, operationArrives, uint32(in.index), nil)
 }
 
 // draws are what a client leaves to chance at a try.
-func (r *run) draws(s *simclient.Operation, try int) *rand.Rand {
-	return r.callers.For(s.ID, uint64(try))
+func (r *run) clientDraws(s *simclient.Operation, try int) *rand.Rand {
+	return r.clientRand.For(s.ID, uint64(try))
 }
 
-func (r *run) arrive(in *instance) {
-	s := &story{Operation: in.next, run: r}
-	r.nextStory(in)
-	s.Class = r.classOf[s.Class]
+func (r *run) startOperation(in *instance) {
+	s := &operation{Operation: in.nextOperation, run: r}
+	r.scheduleNextOperation(in)
+	s.Class = r.criteriaClass[s.Class]
 	if s.Tenant >= 0 {
-		s.Tenant = r.tenantOf[s.Tenant]
+		s.Tenant = r.criteriaTenant[s.Tenant]
 	}
-	s.class = &r.o.Criteria.Classes[s.Class]
+	s.class = &r.options.Criteria.Classes[s.Class]
 	if s.class.Idempotency != balancer.IdempotentByKey {
 		s.IdempotencyKey = 0
 	}
-	s.DiscardsResponse = r.settings.KnownHarm > 0 && r.luck.For(s.ID, ^uint64(0)).Float64() < r.settings.KnownHarm
-	r.open++
-	s.worth, s.within = r.meter.Weight(&s.Operation)
-	s.ask(s.Start(r.now, &r.habits, s.class, r.draws(&s.Operation, 0)))
+	s.DiscardsResponse = r.settings.KnownHarm > 0 && r.faultRand.For(s.ID, ^uint64(0)).Float64() < r.settings.KnownHarm
+	r.pendingOperations++
+	s.weight, s.withinQuota = r.meter.Weight(&s.Operation)
+	s.send(s.Start(r.now, &r.behavior, s.class, r.clientDraws(&s.Operation, 0)))
 }
 
-func (r *run) again(s *story) {
+func (r *run) retryOperation(s *operation) {
 	if !s.ended {
-		s.ask(s.Retry(r.now, &r.habits, s.class, r.draws(&s.Operation, 2*s.Requests)))
+		s.send(s.Retry(r.now, &r.behavior, s.class, r.clientDraws(&s.Operation, 2*s.Requests)))
 	}
 }
 
 // ask sends a try to its instance.
-func (s *story) ask(t simclient.Request) {
+func (s *operation) send(t simclient.Request) {
 	r := s.run
 	r.meter.Costs.ClientRequests++
-	x := &try{Request: t, story: s, in: r.instances[s.Instance], sent: r.now}
-	s.try = x
+	x := &clientRequest{Request: t, operation: s, instance: r.instances[s.Instance], sentAt: r.now}
+	s.current = x
 	r.trace(x, -1, "", "asks")
-	r.queue.push(r.now+r.network.client(s.ID, t.Number, false), evSubmit, 0, x)
+	r.events.push(r.now+r.network.clientDelay(s.ID, t.Number, false), requestAtInstance, 0, x)
 	if t.AbortAt > 0 {
-		r.queue.push(t.AbortAt, evLeave, 0, x)
+		r.events.push(t.AbortAt, clientTimeout, 0, x)
 	}
-	r.queue.push(t.Deadline, evLeave, 0, x)
+	r.events.push(t.Deadline, clientTimeout, 0, x)
 }
 
 // try is one request of a client.
-type try struct {
+type clientRequest struct {
 	simclient.Request
-	story   *story
-	in      *instance
-	sent    monotime.Micros
-	done    bool // for the client
-	life    uint32
-	call    engine.Call
-	conn    *connlimit.Conn[*clientConn]
-	answer  engine.Response
-	has     bool // the instance has answered
-	taken   bool // by the engine
-	place   int  // among its instance's open ones
-	effects int  // of its attempts
+	operation     *operation
+	instance      *instance
+	sentAt        monotime.Micros
+	done          bool // for the client
+	incarnation   uint32
+	call          engine.Call
+	conn          *connlimit.Conn[*clientConn]
+	response      engine.Response
+	responded     bool // the instance has answered
+	submitted     bool // by the engine
+	inFlightIndex int  // among its instance's open ones
+	effects       int  // of its attempts
 }
 
 // answered takes the instance's answer to the client.
-func (t *try) answered() {
-	r := t.story.run
+func (t *clientRequest) responseArrived() {
+	r := t.operation.run
 	if t.done {
 		return
 	}
-	switch t.answer.Verdict {
+	switch t.response.Verdict {
 	case engine.Served:
-		if s, ok := t.answer.Result.Response.(*sending); ok {
+		if s, ok := t.response.Result.Response.(*attempt); ok {
 			r.meter.Costs.UsefulWork += float64(s.job.Work)
 		}
-		t.over(simclient.OK, 0)
+		t.end(simclient.OK, 0)
 	case engine.Rejected, engine.RateLimited:
-		t.over(simclient.Rejected, t.answer.RetryAfter)
+		t.end(simclient.Rejected, t.response.RetryAfter)
 	default:
-		t.over(simclient.Failed, 0)
+		t.end(simclient.Failed, 0)
 	}
 }
 
 // leave has the client go if it still waits.
-func (t *try) leave() {
+func (t *clientRequest) clientLeaves() {
 	if t.done {
 		return
 	}
-	r := t.story.run
-	if r.now >= t.Deadline && t.taken && t.life == t.in.life && !t.has && t.in.frozen < t.sent {
+	r := t.operation.run
+	if r.now >= t.Deadline && t.submitted && t.incarnation == t.instance.incarnation && !t.responded && t.instance.frozenUntil < t.sentAt {
 		r.meter.Costs.LateResponses++ // a running instance that took it owed an answer by now
 	}
 	r.trace(t, -1, "", "leaves")
-	if t.taken && t.life == t.in.life && !t.in.down {
-		if t.in.frozen > r.now {
-			r.queue.push(t.in.frozen, evGone, 0, t)
+	if t.submitted && t.incarnation == t.instance.incarnation && !t.instance.down {
+		if t.instance.frozenUntil > r.now {
+			r.events.push(t.instance.frozenUntil, clientGoneNoticed, 0, t)
 		} else {
-			t.in.left(t)
+			t.instance.clientGone(t)
 		}
 	}
-	t.over(simclient.NoResponse, 0)
+	t.end(simclient.NoResponse, 0)
 }
 
 // over ends the try for its client.
-func (t *try) over(v simclient.RequestOutcome, retryAfter monotime.Micros) {
+func (t *clientRequest) end(v simclient.RequestOutcome, retryAfter monotime.Micros) {
 	if t.done {
 		return
 	}
 	t.done = true
-	s, r := t.story, t.story.run
-	if r.o.Trace != nil {
+	s, r := t.operation, t.operation.run
+	if r.options.Trace != nil {
 		r.trace(t, -1, "", [...]string{"is served", "is refused", "is failed", "has no answer"}[v])
 	}
 	if s.ended {
 		return
 	}
-	at, again := s.RequestEnded(r.now, t.Number, v, retryAfter, s.class, r.draws(&s.Operation, 2*t.Number+1))
+	at, again := s.RequestEnded(r.now, t.Number, v, retryAfter, s.class, r.clientDraws(&s.Operation, 2*t.Number+1))
 	switch {
 	case again:
-		r.queue.push(at, evTry, 0, s)
+		r.events.push(at, requestRetried, 0, s)
 	case s.Outcome != simclient.Pending:
 		s.ended = true
-		r.open--
-		r.meter.OperationEnded(&s.Operation, t.in.zone, s.worth, s.within)
+		r.pendingOperations--
+		r.meter.OperationEnded(&s.Operation, t.instance.zone, s.weight, s.withinQuota)
 	}
 }
 
-func (r *run) trace(t *try, attempt int, node, what string) {
-	if r.o.Trace != nil {
-		r.o.Trace(Trace{At: r.now, Operation: t.story.ID, Request: t.Number, Instance: t.in.n, Attempt: attempt, Endpoint: node, Step: what})
+func (r *run) trace(t *clientRequest, attempt int, node, what string) {
+	if r.options.Trace != nil {
+		r.options.Trace(Trace{At: r.now, Operation: t.operation.ID, Request: t.Number, Instance: t.instance.index, Attempt: attempt, Endpoint: node, Step: what})
 	}
 }
--- a/internal/simulation/model_test.go
+++ b/internal/simulation/model_test.go
@@ -123,7 +123,7 @@
 
 // Whatever goes wrong, each story has one outcome, each try that a running instance takes has one answer in its time, and
 // no rule is broken.
-func TestEachStoryEnds(t *testing.T) {
+func TestEachOperationEnds(t *testing.T) {
 	for name, events := range map[string]string{
 		"calm":    "",
 		"slow":    "[[event]]\nwhat = \"slow\"\nat = \"3s\"\nfor = \"5s\"\npart = [0.5]\nsize = [8.0]\n",
@@ -201,12 +201,12 @@
 // Events come out by instant, and those of one instant in the order in which they went in.
 func TestQueue(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	var q queue
+	var q eventQueue
 	var last event
 	in, outs := 0, 0
 	for in < 5000 || q.len() > 0 {
 		if in < 5000 && (q.len() == 0 || rng.IntN(2) == 0) {
-			q.push(last.at+int64(rng.IntN(50)), evTry, uint32(in), nil)
+			q.push(last.at+int64(rng.IntN(50)), requestRetried, uint32(in), nil)
 			in++
 			continue
 		}
--- a/internal/simulation/queue.go
+++ b/internal/simulation/queue.go
@@ -5,26 +5,26 @@
 // event is something that happens at an instant; those of the same instant go in the order in which they were set. What
 // is pointed to, and what n means, depends on its kind.
 type event struct {
-	at    monotime.Micros
-	order uint64
-	kind  kind
-	n     uint32
-	p     any
+	at     monotime.Micros
+	order  uint64
+	kind   eventKind
+	index  uint32
+	target any
 }
 
 // queue holds the events to come: a heap of four, which touches less memory than one of two (Larkin, Sen, Tarjan: "A
 // back-to-basics empirical study of priority queues", 2014).
-type queue struct {
+type eventQueue struct {
 	heap  []event
 	order uint64
 }
 
-func (q *queue) len() int { return len(q.heap) }
+func (q *eventQueue) len() int { return len(q.heap) }
 
 func before(a, b *event) bool { return a.at < b.at || a.at == b.at && a.order < b.order }
 
 // push adds an event.
-func (q *queue) push(at monotime.Micros, k kind, n uint32, p any) {
+func (q *eventQueue) push(at monotime.Micros, k eventKind, n uint32, p any) {
 	q.order++
 	q.heap = append(q.heap, event{})
 	i := len(q.heap) - 1
@@ -41,7 +41,7 @@
 }
 
 // pop takes the first event out. There must be one.
-func (q *queue) pop() event {
+func (q *eventQueue) pop() event {
 	first := q.heap[0]
 	last := len(q.heap) - 1
 	e := q.heap[last]
--- a/internal/simulation/scenario/plan.go
+++ b/internal/simulation/scenario/plan.go
@@ -115,14 +115,14 @@
 
 // Late is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
 // of the word's own.
-func (p *Plan) MessageDelay(now monotime.Micros, from int, lots [3]float64) (more monotime.Micros, twice bool) {
+func (p *Plan) MessageDelay(now monotime.Micros, from int, draws [3]float64) (more monotime.Micros, twice bool) {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
 		if h.What == "late-words" && now >= h.At && now < h.Until && contains(h.Instances, from) {
-			if lots[0] < 0.5 {
-				more += monotime.Micros(lots[1] * float64(h.Delay))
+			if draws[0] < 0.5 {
+				more += monotime.Micros(draws[1] * float64(h.Delay))
 			}
-			twice = twice || lots[2] < 0.1
+			twice = twice || draws[2] < 0.1
 		}
 	}
 	return more, twice
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -420,11 +420,11 @@
 	k.Require(s.Replay == nil || len(s.Replay.From) > 0, "replay.from", "is missing: the folders of an access record")
 }
 
-func checkRange(k *stricttoml.Validation, key string, r Range, least, most float64) {
+func checkRange(k *stricttoml.Validation, key string, r Range, minimum, maximum float64) {
 	k.Require(len(r) <= 2, key, "must be a list of one number or of two")
 	k.Require(len(r) < 2 || r[0] <= r[1], key, "its second number is under its first")
 	for _, v := range r {
-		k.Require(v >= least && v <= most, key, "%v: must be in %v..%v", v, least, most)
+		k.Require(v >= minimum && v <= maximum, key, "%v: must be in %v..%v", v, minimum, maximum)
 	}
 }
 
--- a/internal/simulation/words.go
+++ b/internal/simulation/words.go
@@ -21,71 +21,71 @@
 }
 
 // word is on its way from one instance to another.
-type word struct {
-	from, to *instance
-	life     uint32 // of the one that it is for
-	word     coordination.Message
+type fleetMessage struct {
+	from, to    *instance
+	incarnation uint32 // of the one that it is for
+	message     coordination.Message
 }
 
 // join has an engine decide together with the others, where that is set.
-func (in *instance) join() error {
+func (in *instance) joinFleet() error {
 	if in.run.settings.Coordination == nil {
 		return nil
 	}
 	t := *in.run.settings.Coordination
 	t.Settings.Candidates = QuotaCandidates(t.Settings.Candidates, len(in.run.plan.Instances))
-	t.Settings.Self, t.Settings.Seed, t.Settings.Quota.MaxInstances = instanceName(in.n), in.seed+uint64(in.life), len(in.run.plan.Instances)
-	lives := uint64(in.life) << 8
+	t.Settings.Self, t.Settings.Seed, t.Settings.Quota.MaxInstances = instanceName(in.index), in.seed+uint64(in.incarnation), len(in.run.plan.Instances)
+	lives := uint64(in.incarnation) << 8
 	t.NextIncarnation = func() uint64 {
 		lives++
 		return lives
 	}
-	t.Send = in.tellWord
+	t.Send = in.sendFleetMessage
 	return in.engine.JoinFleet(t)
 }
 
 // tellWord sends a word on its way. What is said while a process is stopped was said before: it goes out.
-func (in *instance) tellWord(to string, w coordination.Message) {
+func (in *instance) sendFleetMessage(to string, w coordination.Message) {
 	r := in.run
 	text, ok := strings.CutPrefix(to, "instance-")
 	n, err := strconv.Atoi(text)
 	if !ok || err != nil || n < 0 || n >= len(r.instances) {
 		return // one that this run does not have
 	}
-	if times := r.plan.DemandFactor(r.now); times != 1 && w.Request != nil && in.n == len(r.instances)-1 {
+	if times := r.plan.DemandFactor(r.now); times != 1 && w.Request != nil && in.index == len(r.instances)-1 {
 		for i := range w.Request.Demands {
 			w.Request.Demands[i].Requested *= times
 			w.Request.Demands[i].Contributed *= times
 		}
 	}
-	r.words++
+	r.fleetMessages++
 	r.meter.Costs.FleetMessages++
-	lots := r.luck.For(^r.words, uint64(in.n))
-	more, twice := r.plan.MessageDelay(r.now, in.n, [3]float64{lots.Float64(), lots.Float64(), lots.Float64()})
-	at := r.now + r.network.between(in.zone, r.plan.Instances[n].Zone, r.words, uint64(in.n), 9)
-	out := &word{in, r.instances[n], r.instances[n].life, w}
-	r.queue.push(at+more, evWord, 0, out)
+	lots := r.faultRand.For(^r.fleetMessages, uint64(in.index))
+	more, twice := r.plan.MessageDelay(r.now, in.index, [3]float64{lots.Float64(), lots.Float64(), lots.Float64()})
+	at := r.now + r.network.endpointDelay(in.zone, r.plan.Instances[n].Zone, r.fleetMessages, uint64(in.index), 9)
+	out := &fleetMessage{in, r.instances[n], r.instances[n].incarnation, w}
+	r.events.push(at+more, fleetMessageArrives, 0, out)
 	if twice {
-		r.queue.push(at+monotime.Micros(lots.Float64()*float64(more)), evWord, 0, out)
+		r.events.push(at+monotime.Micros(lots.Float64()*float64(more)), fleetMessageArrives, 0, out)
 	}
 }
 
 // replaced has another process take over from the instance's while it serves. Of that only the place among the others is played:
 // it is given away, and begun anew with what was given.
-func (in *instance) replaced() {
-	now := in.local()
+func (in *instance) upgrade() {
+	now := in.localTime()
 	if s := in.engine.HandOverCoordination(now); s != nil {
 		in.engine.RestoreCoordination(now, 0, s)
 	}
-	in.settle()
+	in.advanceEngine()
 }
 
 // arrive hands a word over, unless nothing passes or its instance has begun anew.
-func (w *word) arrive() {
+func (w *fleetMessage) arrive() {
 	to, r := w.to, w.to.run
-	if to.down || to.life != w.life || r.plan.Partitioned(r.now, w.from.n, to.n) || r.network.cut(w.from.zone, to.zone) {
+	if to.down || to.incarnation != w.incarnation || r.plan.Partitioned(r.now, w.from.index, to.index) || r.network.zonesCut(w.from.zone, to.zone) {
 		return
 	}
-	to.engine.ReceiveFleetMessage(to.local(), instanceName(w.from.n), w.word)
-	to.settle()
+	to.engine.ReceiveFleetMessage(to.localTime(), instanceName(w.from.index), w.message)
+	to.advanceEngine()
 }
