--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -52,7 +52,11 @@
 }
 
 func spec(name string, b *config.ClientLimits) http1.ClientSettings {
-	return http1.ClientSettings{ClientSpec: b.Share(name), MaxConnections: b.MaxConnections, MaxBytes: b.MaxBytesHeld.Bytes}
+	return http1.ClientSettings{
+		ClientSpec:     b.Share(name),
+		MaxConnections: b.MaxConnections,
+		MaxBytes:       b.MaxBytesHeld.Bytes,
+	}
 }
 
 // change goes by another file from now on, and says how many clients are new or have other bounds. Connections keep
--- a/internal/daemon/consensus.go
+++ b/internal/daemon/consensus.go
@@ -199,7 +199,8 @@
 var errNoLeader = errors.New("nobody leads in settling the order just now; say it again")
 
 // propose submits an operator's request, and waits for its answer.
-func (x *consensusMember) propose(ctx context.Context, put func(now monotime.Micros) uint64) (consensus.OperatorReply, error) {
+func (x *consensusMember) propose(ctx context.Context, put func(now monotime.Micros) uint64) (
+	consensus.OperatorReply, error) {
 	answer := make(chan consensus.OperatorReply, 1)
 	select {
 	case x.events <- func() { x.replies[put(x.generation.clock.Now())] = answer }:
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -176,7 +176,8 @@
 
 // changesLive reports whether a configuration can be applied while serving, and which tables prevent it.
 func (d *generation) changesLive(next *config.Config) (tables []string, ok bool) {
-	tables = d.options.Config.TablesNeedingRestart(next) // from what it was put together by, however often it has been changed since
+	// Compared with the configuration that it was assembled by, however often it has been changed since.
+	tables = d.options.Config.TablesNeedingRestart(next)
 	return tables, len(tables) == 0
 }
 
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -54,7 +54,11 @@
 
 // machineSettings returns the settings of the rollout's machine.
 func machineSettings(c *config.ControlPlane, seed uint64) rollout.Settings {
-	s := rollout.Settings{CanaryEnabled: c.CanaryEnabled(), MinValidationInterval: clock.Micros(fileCheckGap), Seed: seed}
+	s := rollout.Settings{
+		CanaryEnabled:         c.CanaryEnabled(),
+		MinValidationInterval: clock.Micros(fileCheckGap),
+		Seed:                  seed,
+	}
 	if c.Address != "" {
 		s.MinValidationInterval = c.MinValidationInterval.Micros()
 	}
--- a/internal/daemon/rollout_state.go
+++ b/internal/daemon/rollout_state.go
@@ -30,7 +30,8 @@
 	}
 	if known.LastKnownGood != nil && known.LastKnownGood.ControlPlane != nil && file.ControlPlane.Address != "" {
 		if c, err := p.cachedConfig(known.LastKnownGood.ControlPlane, file); err != nil {
-			p.log.Error("last known good version rejected, starting with the file", "version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
+			p.log.Error("last known good version rejected, starting with the file",
+				"version", known.LastKnownGood.ControlPlane.ID.String(), "error", err)
 		} else {
 			p.first = c
 			running.ControlPlane = known.LastKnownGood.ControlPlane
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -59,7 +59,8 @@
 		l.host.ReceiveCordons(m.Payload)
 		return
 	case decide.Rejected, decide.ConnectionLost:
-		l.log.Warn("hot restart ended by the other process", "while", l.Predecessor.String(), "reason", string(m.Payload))
+		l.log.Warn("hot restart ended by the other process",
+			"while", l.Predecessor.String(), "reason", string(m.Payload))
 	}
 	l.StepPredecessor(m.Kind)
 }
--- a/internal/takeover/snapshot.go
+++ b/internal/takeover/snapshot.go
@@ -13,7 +13,8 @@
 
 // State is the snapshot that a predecessor sends to its successor.
 type State struct {
-	TakenAt  int64            `json:"Taken"` // the host's monotonic clock, in microseconds: the same in all its processes
+	// TakenAt is on the host's monotonic clock, in microseconds: the same in all its processes.
+	TakenAt  int64            `json:"Taken"`
 	Snapshot *engine.Snapshot `json:"Core"`
 }
 
