Write http1's parsing of requests as short functions that return a parsedRequest

parse (77 lines, five results, a closure) and place did all checks and both requests in one. The order of the checks and their texts are as before; the shortening of a timeout by a header stood twice.

go test -race ./internal/frontend/...: ok.

--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -13,81 +13,104 @@
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/http1msg"
+	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 	"dunlinsail/internal/upstream"
 )
 
-// This file says what a request is where there are no routes: as PROTOCOL describes it, by its class. How it is taken and
-// answered, whole.go says, for these as for routed ones.
+// This file interprets requests where there are no routes: by their class, as PROTOCOL describes them. What follows,
+// buffering, forwarding and responding, is the same as for routed requests (exchange.go).
 
 const (
-	// plainHold is what is held of a body in either direction. Up to so many bytes a message's time is that of its last
-	// byte, and beyond it that of its first (DAYS), so that holding more would only make it later.
+	// classBodyBuffer is how many bytes of a body are buffered in either direction. Up to so many bytes a message's time
+	// is that of its last byte, and beyond it that of its first (DAYS): buffering more would only make it later.
 	classBodyBuffer = siteconfig.MaxBodyBytes
-	// plainIdle is how long a message that streams may say nothing. Peers write slowly and in pieces, a client 64 kB a
-	// second at the least; who is silent for longer than any request may take is gone.
+	// classIdleTimeout is how long a streamed message may pause. Peers write slowly and in pieces, a client 64 kB a
+	// second at the least; one that is silent for longer than any request may take is gone.
 	classIdleTimeout = 10 * time.Second
-	// plainMost bounds a body that streams, at twice what there is (DAYS): no length is to be promised to an endpoint that
-	// cannot come in plainWhole.
+	// maxClassBody bounds a streamed body, at twice the largest one in use (DAYS): an endpoint is not to be promised a
+	// length that cannot arrive within classStreamTimeout.
 	maxClassBody = 64 << 20
-	// plainWhole bounds a body that streams: 32 MB at 64 kB a second take 512 s.
+	// classStreamTimeout bounds a streamed body: 32 MB at 64 kB a second take 512 s.
 	classStreamTimeout = 10 * time.Minute
-	// slowBody is at least how many bytes a second of a body come that is held.
+	// minBodyBytesPerSecond is the slowest rate at which a buffered body may arrive.
 	minBodyBytesPerSecond = 32 << 10
 )
 
-// plainRoutes returns what becomes of the requests of each class.
+// newClassRoutes returns how the requests of each class are handled.
 func (s *Server) newClassRoutes() []Route {
-	rules := &upstream.Rules{Hold: classBodyBuffer, Patient: true, Idle: classIdleTimeout, Deadline: "X-Expires-In-Ms", Own: true}
+	rules := &upstream.Rules{
+		Hold:     classBodyBuffer,
+		Patient:  true,
+		Idle:     classIdleTimeout,
+		Deadline: "X-Expires-In-Ms",
+		Own:      true,
+	}
 	for code := range rules.Failure {
 		rules.Failure[code] = code != http.StatusOK
 	}
 	routes := make([]Route, len(s.options.Site.Classes))
 	for i, name := range s.options.Site.Classes {
-		routes[i] = Route{Name: name, Pool: s.options.Pool, SafeClass: uint8(i), UnsafeClass: uint8(i), SafeRules: rules, UnsafeRules: rules, BufferBytes: classBodyBuffer, MaxBodyBytes: maxClassBody,
-			StreamTimeout: classStreamTimeout, IdempotencyKey: ValueSource{Kind: FromHeader, Name: "Idempotency-Key"}, Object: ValueSource{Kind: FromHeader, Name: "X-Object"}}
+		routes[i] = Route{
+			Name:           name,
+			Pool:           s.options.Pool,
+			SafeClass:      uint8(i),
+			UnsafeClass:    uint8(i),
+			SafeRules:      rules,
+			UnsafeRules:    rules,
+			BufferBytes:    classBodyBuffer,
+			MaxBodyBytes:   maxClassBody,
+			StreamTimeout:  classStreamTimeout,
+			IdempotencyKey: ValueSource{Kind: FromHeader, Name: "Idempotency-Key"},
+			Object:         ValueSource{Kind: FromHeader, Name: "X-Object"},
+		}
 	}
 	return routes
 }
 
-// plain serves a request by PROTOCOL, and says whether the connection may serve another.
+// serveByClass serves a request as PROTOCOL describes it. It reports whether the connection may serve another.
 func (s *Server) serveByClass(c *conn, req *http.Request) bool {
-	x := &exchange{server: s, conn: c, request: req, proxyName: "dunlinsail", closeAfter: req.Close || !req.ProtoAtLeast(1, 1), byClass: true}
-	call, rt, out, framing, err := s.parseClassRequest(c, req)
+	x := s.newExchange(c, req, "dunlinsail")
+	x.byClass = true
+	parsed, err := s.parseClassRequest(c, req)
 	if err == nil {
-		err = x.bufferBody(rt, out, framing)
+		err = x.bufferBody(parsed.route, parsed.out, parsed.framing)
 	}
 	if err != nil {
-		c.reject(rejectionResponse(err))
-		if rt != nil {
-			s.outcomes.record(rt.SafeClass, rejectionResponse(err).status)
+		response := rejectionResponse(err)
+		c.reject(response)
+		if parsed.route != nil {
+			s.outcomes.record(parsed.route.SafeClass, response.status)
 		}
 		return false
 	}
-	return x.forward(rt, call, out, framing, "")
+	return x.forward(&parsed, "")
 }
 
-// parse says what a request is, or what is wrong with it; rt is nil where not even its class is known.
-func (s *Server) parseClassRequest(conn *conn, req *http.Request) (call *core.Call, rt *Route, out *upstream.Request, framing http1msg.Framing, err error) {
-	reject := func(code int, format string, args ...any) (*core.Call, *Route, *upstream.Request, http1msg.Framing, error) {
-		return nil, rt, nil, framing, requestErrorf(code, format, args...)
-	}
-	if framing, err = http1msg.RequestFraming(req.Header); err != nil {
-		return nil, nil, nil, framing, err
-	}
-	uri, host := req.RequestURI, req.Host
-	if !strings.HasPrefix(uri, "/") { // the absolute form; message.CheckHead has seen that Host names the same
-		if req.URL.Host == "" || req.URL.User != nil || req.URL.Scheme != "http" {
-			return reject(http.StatusBadRequest, "the target must be a path")
-		}
-		uri = req.URL.RequestURI()
+// parsedRequest is a request as it goes to the core and to an endpoint.
+type parsedRequest struct {
+	route   *Route
+	call    *core.Call
+	out     *upstream.Request
+	framing http1msg.Framing
+}
+
+// parseClassRequest interprets a request, or returns why it is rejected; route is nil where its class is not known.
+func (s *Server) parseClassRequest(c *conn, req *http.Request) (parsed parsedRequest, err error) {
+	if parsed.framing, err = http1msg.RequestFraming(req.Header); err != nil {
+		return parsed, err
 	}
-	if !isVisibleASCII(host) && req.ProtoAtLeast(1, 1) {
-		return reject(http.StatusBadRequest, "Host makes no sense")
+	uri, err := originForm(req)
+	if err != nil {
+		return parsed, err
+	}
+	if !isVisibleASCII(req.Host) && req.ProtoAtLeast(1, 1) {
+		return parsed, requestErrorf(http.StatusBadRequest, "Host makes no sense")
 	}
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "Idempotency-Key"} {
-		if v := req.Header[name]; len(v) > 0 && !isVisibleASCII(v[0]) { // that it stands once, message.CheckHead has seen
-			return reject(http.StatusBadRequest, "%s makes no sense", name)
+		v := req.Header[name] // http1msg.CheckHead has verified that it occurs once
+		if len(v) > 0 && !isVisibleASCII(v[0]) {
+			return parsed, requestErrorf(http.StatusBadRequest, "%s makes no sense", name)
 		}
 	}
 	pathClass, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
@@ -97,64 +120,126 @@
 	}
 	class := slices.Index(s.options.Site.Classes, name)
 	if class < 0 {
-		return reject(http.StatusNotFound, "unknown class %q", name)
+		return parsed, requestErrorf(http.StatusNotFound, "unknown class %q", name)
 	}
-	rt = &s.classRoutes[class]
+	parsed.route = &s.classRoutes[class]
 	if name != pathClass {
-		return reject(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
-	}
-	id := req.Header.Get("X-Trace-Id")
-	if id == "" {
-		return reject(http.StatusBadRequest, "X-Trace-Id is missing")
+		return parsed, requestErrorf(http.StatusBadRequest, "X-Qos %q is not the first part of the path", name)
 	}
 	settings := &s.options.Site.Settings.Classes[class]
+	if err := checkClassRequest(req, name, settings.Idempotency, parsed.framing); err != nil {
+		return parsed, err
+	}
+	timeout := settings.ClientTimeout
+	if text := req.Header.Get("X-Expires-In-Ms"); text != "" {
+		if timeout, err = shortenTimeout(timeout, text, "X-Expires-In-Ms"); err != nil {
+			return parsed, err
+		}
+	}
+	parsed.call = s.newClassCall(c, req, uint8(class), timeout)
+	parsed.out = newClassOutbound(req, uri, parsed.route.SafeRules)
+	parsed.out.Wait = time.Duration(parsed.call.Request.Deadline) * time.Microsecond
+	return parsed, nil
+}
+
+// originForm returns a request's target as a path and query.
+func originForm(req *http.Request) (string, error) {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		return req.RequestURI, nil
+	}
+	// The absolute form; http1msg.CheckHead has verified that Host names the same host.
+	if req.URL.Host == "" || req.URL.User != nil || req.URL.Scheme != "http" {
+		return "", requestErrorf(http.StatusBadRequest, "the target must be a path")
+	}
+	return req.URL.RequestURI(), nil
+}
+
+// checkClassRequest verifies that a request has what its class needs: an ID, the method, a body or none, a key.
+func checkClassRequest(
+	req *http.Request, class string, idempotency balancer.Idempotency, framing http1msg.Framing,
+) error {
+	if req.Header.Get("X-Trace-Id") == "" {
+		return requestErrorf(http.StatusBadRequest, "X-Trace-Id is missing")
+	}
 	method := http.MethodPost
-	if settings.Idempotency == balancer.Idempotent {
+	if idempotency == balancer.Idempotent {
 		method = http.MethodGet
 	}
 	if req.Method != method && !(req.Method == http.MethodHead && method == http.MethodGet) {
-		return reject(http.StatusMethodNotAllowed, "class %q takes %s", name, method)
+		return requestErrorf(http.StatusMethodNotAllowed, "class %q takes %s", class, method)
 	}
-	if method == http.MethodGet && framing.Kind != http1msg.NoBody && !(framing.Kind == http1msg.FixedLength && framing.Length == 0) {
-		return reject(http.StatusBadRequest, "class %q takes no body", name)
+	emptyBody := framing.Kind == http1msg.NoBody || framing.Kind == http1msg.FixedLength && framing.Length == 0
+	if method == http.MethodGet && !emptyBody {
+		return requestErrorf(http.StatusBadRequest, "class %q takes no body", class)
 	}
-	if settings.Idempotency == balancer.IdempotentByKey && req.Header.Get("Idempotency-Key") == "" {
-		return reject(http.StatusBadRequest, "Idempotency-Key is missing") // a repeat would not be known as one
+	if idempotency == balancer.IdempotentByKey && req.Header.Get("Idempotency-Key") == "" {
+		return requestErrorf(http.StatusBadRequest, "Idempotency-Key is missing") // a repetition could not be recognized
 	}
-	timeout := settings.ClientTimeout
-	if text := req.Header.Get("X-Expires-In-Ms"); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 63)
-		if err != nil {
-			return reject(http.StatusBadRequest, "X-Expires-In-Ms is not a whole number of milliseconds")
-		}
-		timeout = min(timeout, int64(min(ms, math.MaxInt32))*1000)
+	return nil
+}
+
+// shortenTimeout returns the shorter of a timeout and the milliseconds that a request's header names.
+func shortenTimeout(timeout monotime.Micros, text, header string) (monotime.Micros, error) {
+	ms, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, requestErrorf(http.StatusBadRequest, "%s is not a whole number of milliseconds", header)
+	}
+	return min(timeout, int64(min(ms, math.MaxInt32))*1000), nil
+}
+
+// newClassCall returns a request for the core. Its deadline is relative to its arrival.
+func (s *Server) newClassCall(c *conn, req *http.Request, class uint8, timeout monotime.Micros) *core.Call {
+	call := &core.Call{
+		Client:   c.client.engineClient,
+		Pool:     s.options.Pool,
+		ID:       req.Header.Get("X-Trace-Id"),
+		Response: make(chan engine.Response, 1),
+		Request: balancer.Request{
+			Class:          class,
+			Tenant:         s.tenantIndex(req.Header.Get("X-Customer")),
+			IdempotencyKey: objectKey(req.Header.Get("X-Object")),
+			Retry:          req.Header.Get("X-Second-Try") == "1",
+			Deadline:       timeout - siteconfig.ResponseMargin.Microseconds(),
+		},
 	}
-	call = &core.Call{Client: conn.client.engineClient, Pool: s.options.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: uint8(class),
-		Tenant: s.tenantIndex(req.Header.Get("X-Customer")), IdempotencyKey: objectKey(req.Header.Get("X-Object")), Retry: req.Header.Get("X-Second-Try") == "1",
-		Deadline: timeout - siteconfig.ResponseMargin.Microseconds()}}
 	if hint, err := strconv.ParseInt(req.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		call.Request.WorkHint, call.Request.HasWorkHint = hint, true
+		call.Request.WorkHint = hint
+		call.Request.HasWorkHint = true
+	}
+	return call
+}
+
+// newClassOutbound returns a request for an endpoint, without its body.
+func newClassOutbound(req *http.Request, uri string, rules *upstream.Rules) *upstream.Request {
+	out := &upstream.Request{
+		Method: req.Method,
+		URI:    uri,
+		Host:   req.Host,
+		Header: make(http.Header, len(req.Header)),
+		Rules:  rules,
 	}
-	out = &upstream.Request{Method: req.Method, URI: uri, Host: host, Header: make(http.Header, len(req.Header)), Rules: rt.SafeRules}
 	connection := req.Header["Connection"]
-	for name, v := range req.Header {
-		if !http1msg.IsHopByHop(name, connection) && name != "Expect" && name != "Host" && name != "X-Never-Ran" && name != "X-Expires-In-Ms" {
-			out.Header[name] = v
+	for name, values := range req.Header {
+		switch name {
+		case "Expect", "Host", "X-Never-Ran", "X-Expires-In-Ms":
+			continue
+		}
+		if !http1msg.IsHopByHop(name, connection) {
+			out.Header[name] = values
 		}
 	}
-	out.Wait = time.Duration(call.Request.Deadline) * time.Microsecond
-	return call, rt, out, framing, nil
+	return out
 }
 
-// methods are what a request may begin with that follows another on its connection.
+// pipelinedMethods are what a request that follows another on its connection may start with.
 var pipelinedMethods = [][]byte{[]byte("GET "), []byte("POST "), []byte("HEAD ")}
 
-// mayBegin says whether what has come behind a request can be the beginning of the next. Clients of PROTOCOL that send
-// more than their request's length tells have told it wrong: who did must not be served with what an endpoint makes of a
-// part.
+// mayStartRequest reports whether the bytes behind a request can be the start of the next one. A client of PROTOCOL that
+// sends more than its request's length has stated a wrong length: it must not be served with what an endpoint makes of
+// a part.
 func mayStartRequest(b []byte) bool {
-	return slices.ContainsFunc(pipelinedMethods, func(m []byte) bool {
-		n := min(len(b), len(m))
-		return bytes.Equal(b[:n], m[:n])
+	return slices.ContainsFunc(pipelinedMethods, func(method []byte) bool {
+		n := min(len(b), len(method))
+		return bytes.Equal(b[:n], method[:n])
 	})
 }
--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -12,57 +12,70 @@
 	"dunlinsail/internal/upstream"
 )
 
-// serve serves a request that is taken, and says whether the connection may serve another.
-func (x *exchange) forward(rt *Route, call *core.Call, out *upstream.Request, framing http1msg.Framing, path string) bool {
-	server, c, req := x.server, x.conn, x.request
-	if !server.conns.markBusy(c) {
+// exchange is one request of a client and its response.
+type exchange struct {
+	server     *Server
+	conn       *conn
+	request    *http.Request
+	proxyName  string // this instance's name in Proxy-Status
+	closeAfter bool   // the connection is closed after the response
+	byClass    bool   // as PROTOCOL describes: responses of endpoints are forwarded only where they succeeded
+
+	stream        *upstream.Stream // the request's body, once an attempt reads it; nil if it is buffered or not read
+	responseEdits *HeaderEdits     // of an endpoint's response
+	idleTimeout   time.Duration    // for which a client may read nothing of the response
+
+	record     *ExchangeRecord // nil where nothing is recorded
+	status     int             // of the response
+	bodyLength int64           // of the response; -1 is not known
+}
+
+func (s *Server) newExchange(c *conn, req *http.Request, proxyName string) *exchange {
+	closeAfter := req.Close || !req.ProtoAtLeast(1, 1)
+	return &exchange{server: s, conn: c, request: req, proxyName: proxyName, closeAfter: closeAfter}
+}
+
+// forward forwards a request whose body is buffered or prepared for streaming; path is the normalized path of a routed
+// one. It reports whether the connection may serve another request.
+func (x *exchange) forward(parsed *parsedRequest, path string) bool {
+	server := x.server
+	rt := parsed.route
+	call := parsed.call
+	out := parsed.out
+	if !server.conns.markBusy(x.conn) {
 		return false
 	}
-	x.responseEdits, x.idleTimeout = &rt.ResponseEdits, rt.UnsafeRules.Idle
+	x.responseEdits = &rt.ResponseEdits
+	x.idleTimeout = rt.UnsafeRules.Idle
 	call.Attempt = server.attemptFunc(out)
 	call.ArrivedAt = server.options.Clock.Now()
 	call.Request.Deadline += call.ArrivedAt
 	if stream := out.Stream; stream != nil {
-		call.NotReplayable, call.Request.Upload = stream.Taken, true
+		call.NotReplayable = stream.Taken
+		call.Request.Upload = true
 		call.Request.Deadline = call.ArrivedAt + rt.StreamTimeout.Microseconds()
 	}
 	if deadline := server.responseDeadline.Load(); deadline > 0 {
 		call.Request.Deadline = min(call.Request.Deadline, deadline)
 	}
 	requestBytes := int64(len(out.Body))
-	if framing.Kind == http1msg.FixedLength {
-		requestBytes = framing.Length
+	if parsed.framing.Kind == http1msg.FixedLength {
+		requestBytes = parsed.framing.Length
 	} else if out.Stream != nil {
 		requestBytes = -1
 	}
-	x.record = server.newExchangeRecord(c, call, rt.Name, rt.IdempotencyKey.value(c, req, path), rt.Object.value(c, req, path), requestBytes)
+	key := rt.IdempotencyKey.value(x.conn, x.request, path)
+	object := rt.Object.value(x.conn, x.request, path)
+	x.record = server.newExchangeRecord(x.conn, call, rt.Name, key, object, requestBytes)
 	return x.submit(call, out)
 }
 
-// answering is one request that is served.
-type exchange struct {
-	server     *Server
-	conn       *conn
-	request    *http.Request
-	proxyName  string
-	closeAfter bool // the connection is closed behind the answer
-	byClass    bool // by PROTOCOL: what is not served is answered by us, whatever an endpoint said
-
-	stream        *upstream.Stream // of the request's body, which an attempt has taken; nil where it is held, or none has
-	responseEdits *HeaderEdits     // of an endpoint's answer
-	idleTimeout   time.Duration    // for which a client may take nothing of it
-
-	record     *ExchangeRecord // nil where nobody is told
-	status     int             // of the answer
-	bodyLength int64           // of its body; -1 is not known
-}
-
-// submit hands the request in, waits for its answer and gives it.
+// submit submits the request to the core, waits for its response and writes it.
 func (x *exchange) submit(call *core.Call, out *upstream.Request) bool {
-	c, stream := x.conn, out.Stream
+	stream := out.Stream
 	x.stream = stream
-	watch := c.newClientWatch(stream == nil)
-	if watch.clientGone() { // while it waited to be read: nothing of it is to go anywhere
+	watch := x.conn.newClientWatch(stream == nil)
+	if watch.clientGone() { // while the request waited to be read: it is not forwarded
 		x.server.finishExchange(x.record, call.Request.Class, nil, 0, 0)
 		return false
 	}
@@ -74,30 +87,31 @@
 		case response = <-call.Response:
 			waiting = false
 		case <-watch.inputArrived:
-			// The client has sent the beginning of its next request, as it may (RFC 9112 section 9.3.2).
+			// The client has sent the start of its next request, as it may (RFC 9112 section 9.3.2).
 			if x.byClass && !mayStartRequest(watch.pipelined) {
 				x.abandon(call, watch)
-				c.reject(newLocalResponse(http.StatusBadRequest, surplusBytes))
+				x.conn.reject(newLocalResponse(http.StatusBadRequest, surplusBytes))
 				return false
 			}
 		case <-watch.gone:
 			x.abandon(call, watch)
 			if stream != nil && !stream.Take() {
-				<-stream.Over() // the attempt reads the client until it ends
+				<-stream.Over() // the attempt reads from the client until it ends
 			}
 			return false
 		}
 	}
 	watch.stop()
-	// From here on no attempt may begin to read the client: one that was told to go may be about to.
+	// From here on no attempt may start to read from the client: one that has been canceled might be about to.
 	attempted := stream != nil && !stream.Take()
 	if stream != nil && !attempted {
-		x.stream, x.closeAfter = nil, true // the rest of the body is in the way
+		x.stream = nil
+		x.closeAfter = true // the unread rest of the body precedes any next request
 	}
 	keep := x.respond(response)
 	x.server.finishExchange(x.record, call.Request.Class, &response, x.status, x.bodyLength)
 	if attempted {
-		<-stream.Over() // the attempt reads the client until it ends
+		<-stream.Over() // the attempt reads from the client until it ends
 		keep = keep && stream.Body.Done()
 	}
 	if stream != nil && !keep {
@@ -106,21 +120,21 @@
 	return keep
 }
 
-// leave tells that the client has gone, or is to go.
+// abandon ends the request without a response: the client has closed its connection, or is rejected.
 func (x *exchange) abandon(call *core.Call, watch *clientWatch) {
 	x.server.finishExchange(x.record, call.Request.Class, nil, 0, 0)
 	x.server.options.Core.ClientGone(call)
 	watch.stop()
 }
 
-// sending returns the way to make an attempt of a request.
+// attemptFunc returns the function that makes an attempt of a request.
 func (s *Server) attemptFunc(out *upstream.Request) core.AttemptFunc {
 	return func(ctx context.Context, attempt *core.AttemptContext) engine.AttemptResult {
 		return s.options.SendAttempt(ctx, attempt, out)
 	}
 }
 
-// tenantNamed returns a tenant's place in the settings, or one past all places.
+// tenantIndex returns a tenant's index in the settings, or math.MaxUint16 for one that is not there.
 func (s *Server) tenantIndex(name string) uint16 {
 	for i, tenant := range s.options.Site.Tenants {
 		if tenant == name {
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,59 +19,56 @@
 	"dunlinsail/internal/upstream"
 )
 
-// routed serves a request by the routes, and says whether the connection may serve another.
+// serveByRoute serves a request by the routes. It reports whether the connection may serve another.
 func (s *Server) serveByRoute(c *conn, req *http.Request, routes *Routes) bool {
-	x := &exchange{server: s, conn: c, request: req, proxyName: routes.ProxyName, closeAfter: req.Close || !req.ProtoAtLeast(1, 1)}
+	x := s.newExchange(c, req, routes.ProxyName)
 	host, path, query, err := routes.splitTarget(req)
-	if req.RequestURI == "*" && req.Method == http.MethodOptions {
-		return s.conns.markBusy(c) && x.writeLocal(newLocalResponse(http.StatusOK, "any"), "") // of the server as a whole: it forwards what it is asked
+	if req.RequestURI == "*" && req.Method == http.MethodOptions { // of the server as a whole: it forwards any request
+		return s.conns.markBusy(c) && x.writeLocal(newLocalResponse(http.StatusOK, "any"), "")
 	}
 	if req.Method == http.MethodConnect {
-		err = &requestError{status: http.StatusNotImplemented, reason: "no tunnels are made here", proxyError: proxyErrDenied}
+		err = &requestError{
+			status:     http.StatusNotImplemented,
+			reason:     "no tunnels are made here",
+			proxyError: proxyErrDenied,
+		}
 	}
-	var rt *Route
+	var parsed parsedRequest
 	if err == nil {
-		rt, err = routes.match(req, host, path)
+		parsed.route, err = routes.match(req, host, path)
 	}
-	var call *core.Call
-	var out *upstream.Request
 	if err == nil {
-		call, out, err = s.newRoutedCall(c, req, rt, host, path, query)
+		parsed.call, parsed.out, err = s.newRoutedCall(c, req, parsed.route, host, path, query)
 	}
-	var framing http1msg.Framing
 	if err == nil {
-		framing, err = http1msg.RequestFraming(req.Header)
+		parsed.framing, err = http1msg.RequestFraming(req.Header)
 	}
 	if err == nil {
-		err = x.bufferBody(rt, out, framing)
+		err = x.bufferBody(parsed.route, parsed.out, parsed.framing)
 	}
 	if err != nil {
 		return x.reject(err)
 	}
-	return x.forward(rt, call, out, framing, path)
+	return x.forward(&parsed, path)
 }
 
-// safeMethod is RFC 9110 section 9.2.1.
+// isSafeMethod reports whether a method is safe (RFC 9110 section 9.2.1).
 func isSafeMethod(m string) bool {
 	return m == http.MethodGet || m == http.MethodHead || m == http.MethodOptions || m == http.MethodTrace
 }
 
-// target takes a request's target apart: its host, its path in normal form and its query with the question mark.
+// splitTarget returns the parts of a request's target: its host, its normalized path, and its query with the question
+// mark.
 func (r *Routes) splitTarget(req *http.Request) (host, path, query string, err error) {
 	rest := req.RequestURI
 	host = req.Host
 	if !strings.HasPrefix(rest, "/") {
-		u, parse := url.Parse(rest)
-		if parse != nil || u.Host == "" || u.User != nil || u.Scheme != "http" && u.Scheme != "https" {
+		u, parseErr := url.Parse(rest)
+		if parseErr != nil || u.Host == "" || u.User != nil || u.Scheme != "http" && u.Scheme != "https" {
 			return "", "", "", requestErrorf(http.StatusBadRequest, "the target is neither a path nor an http address")
 		}
-		host = u.Host // and Host names the same (message.CheckHead)
-		rest = rest[strings.Index(rest, "//")+2:]
-		if i := strings.IndexAny(rest, "/?"); i < 0 {
-			rest = "/"
-		} else if rest = rest[i:]; rest[0] == '?' {
-			rest = "/" + rest
-		}
+		host = u.Host // the Host header names the same (http1msg.CheckHead)
+		rest = pathOfAbsolute(rest)
 	}
 	if !isVisibleASCII(host) && (req.ProtoAtLeast(1, 1) || host != "") {
 		return "", "", "", requestErrorf(http.StatusBadRequest, "Host makes no sense")
@@ -81,7 +77,8 @@
 		return "", "", "", requestErrorf(http.StatusBadRequest, "the target has a fragment")
 	}
 	if i := strings.IndexByte(rest, '?'); i >= 0 {
-		rest, query = rest[:i], rest[i:]
+		query = rest[i:]
+		rest = rest[:i]
 	}
 	if path, err = route.NormalizePath(rest, r.EncodedSlashes); err != nil {
 		return "", "", "", requestErrorf(http.StatusBadRequest, "%v", err)
@@ -89,52 +86,63 @@
 	return host, path, query, nil
 }
 
-// find returns the route of a request, or the answer to one that has none.
+// pathOfAbsolute returns the path and query of a target in absolute form.
+func pathOfAbsolute(target string) string {
+	rest := target[strings.Index(target, "//")+2:]
+	i := strings.IndexAny(rest, "/?")
+	if i < 0 {
+		return "/"
+	}
+	rest = rest[i:]
+	if rest[0] == '?' {
+		return "/" + rest
+	}
+	return rest
+}
+
+// match returns the route of a request, or a *requestError where it has none.
 func (r *Routes) match(req *http.Request, host, path string) (*Route, error) {
 	switch i := r.Table.Match(route.NormalizeHost(host), path, req.Method, req.Header); i {
 	case route.NotFound:
 		return nil, &requestError{status: http.StatusNotFound, reason: "no route", proxyError: proxyErrNotFound}
 	case route.NotAllowed:
-		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: "no route takes " + req.Method + " here", proxyError: proxyErrDenied}
+		reason := "no route takes " + req.Method + " here"
+		return nil, &requestError{status: http.StatusMethodNotAllowed, reason: reason, proxyError: proxyErrDenied}
 	default:
 		return &r.Routes[i], nil
 	}
 }
 
-// place puts a routed request together: the call, but for its body.
-func (s *Server) newRoutedCall(c *conn, req *http.Request, rt *Route, host, path, query string) (*core.Call, *upstream.Request, error) {
-	class, rules := rt.UnsafeClass, rt.UnsafeRules
+// newRoutedCall returns a routed request for the core, with its deadline relative to its arrival, and the one for an
+// endpoint, without its body.
+func (s *Server) newRoutedCall(
+	c *conn, req *http.Request, rt *Route, host, path, query string,
+) (*core.Call, *upstream.Request, error) {
+	class := rt.UnsafeClass
+	rules := rt.UnsafeRules
 	if isSafeMethod(req.Method) {
-		class, rules = rt.SafeClass, rt.SafeRules
+		class = rt.SafeClass
+		rules = rt.SafeRules
 	}
 	settings := &s.options.Site.Settings.Classes[class]
 	if settings.Idempotency == balancer.IdempotentByKey && rt.IdempotencyKey.value(c, req, path) == "" {
-		return nil, nil, requestErrorf(http.StatusBadRequest, "%s is missing", rt.IdempotencyKey.Name) // a repeat would not be known as one
-	}
-	out := &upstream.Request{Method: req.Method, Host: host, Header: make(http.Header, len(req.Header)+4), Rules: rules}
-	connection := req.Header["Connection"]
-	for name, v := range req.Header {
-		if !http1msg.IsHopByHop(name, connection) && name != "Expect" && name != "Host" {
-			out.Header[name] = v
-		}
-	}
-	if te := req.Header["Te"]; len(te) == 1 && strings.EqualFold(te[0], "trailers") {
-		out.Header["Te"] = te // trailers are passed on
+		// A repetition could not be recognized.
+		return nil, nil, requestErrorf(http.StatusBadRequest, "%s is missing", rt.IdempotencyKey.Name)
 	}
+	out := &upstream.Request{Method: req.Method, Host: host, Header: endToEndHeader(req), Rules: rules}
 	if rt.HostOverride != "" {
 		out.Host = rt.HostOverride
 	}
 	out.URI = rt.rewritePath(path) + query
 	timeout := settings.ClientTimeout
 	if text := rt.Deadline.value(c, req, path); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 63)
-		if err != nil {
-			return nil, nil, requestErrorf(http.StatusBadRequest, "%s is not a whole number of milliseconds", rt.Deadline.Name)
+		var err error
+		if timeout, err = shortenTimeout(timeout, text, rt.Deadline.Name); err != nil {
+			return nil, nil, err
 		}
-		timeout = min(timeout, int64(min(ms, math.MaxInt32))*1000)
 	}
 	if rt.Deadline.Kind == FromHeader {
-		delete(out.Header, rt.Deadline.Name) // the endpoint is told what is left then
+		delete(out.Header, rt.Deadline.Name) // each attempt states the time that is left then
 	}
 	id := rt.RequestID.value(c, req, path)
 	if id == "" {
@@ -145,13 +153,38 @@
 	}
 	rt.setForwarded(c, req, out.Header)
 	rt.RequestEdits.apply(out.Header)
-	call := &core.Call{Client: c.client.engineClient, Pool: rt.Pool, ID: id, Response: make(chan engine.Response, 1), Request: balancer.Request{Class: class,
-		Tenant: s.tenantIndex(rt.Tenant.value(c, req, path)), IdempotencyKey: objectKey(rt.Object.value(c, req, path)), MaxAttempts: rt.MaxAttempts}}
-	call.Request.Deadline = timeout - siteconfig.ResponseMargin.Microseconds() // from its arrival
+	call := &core.Call{
+		Client:   c.client.engineClient,
+		Pool:     rt.Pool,
+		ID:       id,
+		Response: make(chan engine.Response, 1),
+		Request: balancer.Request{
+			Class:          class,
+			Tenant:         s.tenantIndex(rt.Tenant.value(c, req, path)),
+			IdempotencyKey: objectKey(rt.Object.value(c, req, path)),
+			MaxAttempts:    rt.MaxAttempts,
+			Deadline:       timeout - siteconfig.ResponseMargin.Microseconds(),
+		},
+	}
 	return call, out, nil
 }
 
-// path returns the path that goes on for one that the route has taken.
+// endToEndHeader returns the fields of a request that are forwarded. Edits may add about four.
+func endToEndHeader(req *http.Request) http.Header {
+	header := make(http.Header, len(req.Header)+4)
+	connection := req.Header["Connection"]
+	for name, values := range req.Header {
+		if !http1msg.IsHopByHop(name, connection) && name != "Expect" && name != "Host" {
+			header[name] = values
+		}
+	}
+	if te := req.Header["Te"]; len(te) == 1 && strings.EqualFold(te[0], "trailers") {
+		header["Te"] = te // trailers are forwarded
+	}
+	return header
+}
+
+// rewritePath returns the path that is forwarded for one that the route matches.
 func (rt *Route) rewritePath(path string) string {
 	if rt.StripPrefix != "" {
 		if path = strings.TrimPrefix(path, rt.StripPrefix); path == "" {
@@ -161,9 +194,10 @@
 	return rt.AddPrefix + path
 }
 
+// forwardedFields are the headers that name earlier hops.
 var forwardedFields = []string{"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto"}
 
-// forwarded tells the endpoint of the client.
+// setForwarded sets the headers that name the client to the endpoint.
 func (rt *Route) setForwarded(c *conn, req *http.Request, header http.Header) {
 	if rt.ForwardedMode == ForwardedUnchanged {
 		return
