Tests of discovery in the terms of its watch; one is named for restarted generations

Change: names, comments and line breaks; TestGenerationsBeginAnew is TestGenerationsRestart with the same checks.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -20,15 +20,18 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// watching starts a watcher and returns what it tells.
-func watching(t *testing.T, b *scripteddiscovery.Board, mute time.Duration) <-chan engine.EndpointUpdate {
-	told := make(chan engine.EndpointUpdate, 16)
-	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
-	w.SilenceTimeout, w.ResponseTimeout = mute, scriptedpeer.Soon // a busy machine is no silence
+// watching starts a watcher and returns its updates.
+func watching(t *testing.T, b *scripteddiscovery.Board, silenceTimeout time.Duration) <-chan engine.EndpointUpdate {
+	t.Helper()
+	updates := make(chan engine.EndpointUpdate, 16)
+	onUpdate := func(_ context.Context, update engine.EndpointUpdate) { updates <- update }
+	w := discovery.NewWatcher(b.Addr, 7, 16, onUpdate, scriptedpeer.Quiet)
+	w.SilenceTimeout = silenceTimeout
+	w.ResponseTimeout = scriptedpeer.Soon // a busy machine is no silence
 	s := discovery.NewContinuousSource(w)
 	s.SetWatching(true)
 	t.Cleanup(s.Close)
-	return told
+	return updates
 }
 
 // A watch that ends, is malformed or is mute is asked for again, from the latest list on. What is stale is
@@ -86,7 +89,8 @@
 		t.Fatal(err)
 	}
 	b.Lines <- " "
-	for _, line := range strings.SplitAfter(indented.String(), "\n") { // each as a piece of its own, with a line's end more
+	// Each line is a piece of its own, with a line's end more.
+	for _, line := range strings.SplitAfter(indented.String(), "\n") {
 		b.Lines <- line
 	}
 	got := scriptedpeer.Within(t, told, "indented list")
@@ -124,9 +128,9 @@
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
-// What a silent watch misses counts as told 6 s after it fell silent. In the worst order it falls silent right after it has
-// said something, the next one is open and says nothing after its head, or is never answered, and only the third tells. The
-// bound includes the grace that a drain has.
+// What a silent watch misses counts as notified 6 s after it fell silent. In the worst order it falls silent right
+// after it has sent something, the next one is open and sends nothing after its head, or is never answered, and only the
+// third sends a list. The bound includes the grace that a drain has.
 func TestSilentWatchesInARow(t *testing.T) {
 	list := scripteddiscovery.Line(9, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	silences := map[string]func(c *net.TCPConn, r *bufio.Reader){
@@ -147,38 +151,42 @@
 			}
 			t.Run(name+", "+mode, func(t *testing.T) {
 				t.Parallel()
-				told := make(chan engine.EndpointUpdate, 4)
+				updates := make(chan engine.EndpointUpdate, 4)
 				silent := make(chan time.Time, 1)
 				open := func(c *net.TCPConn, r *bufio.Reader) {
 					scriptedpeer.Take(r)
 					io.WriteString(c, watchHead+chunk(scripteddiscovery.Line(8, true)))
 					silent <- time.Now()
 				}
-				good := func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r); io.WriteString(c, watchHead+chunk(list)) }
+				good := func(c *net.TCPConn, r *bufio.Reader) {
+					scriptedpeer.Take(r)
+					io.WriteString(c, watchHead+chunk(list))
+				}
 				calls := []func(*net.TCPConn, *bufio.Reader){open, silence, good}
 				if mode == "asked" {
 					calls = []func(*net.TCPConn, *bufio.Reader){open, good}
 				}
-				w := discovery.NewWatcher(script(t, calls...), 7, 16, func(_ context.Context, l engine.EndpointUpdate) { told <- l }, scriptedpeer.Quiet)
+				onUpdate := func(_ context.Context, update engine.EndpointUpdate) { updates <- update }
+				w := discovery.NewWatcher(script(t, calls...), 7, 16, onUpdate, scriptedpeer.Quiet)
 				s := source(w)
 				s.SetWatching(true)
 				t.Cleanup(s.Close)
-				scriptedpeer.Within(t, told, "first list")
+				scriptedpeer.Within(t, updates, "first list")
 				from := <-silent
-				if got := scriptedpeer.Within(t, told, "list of the watch that speaks"); got.Generation != 9 {
-					t.Errorf("told of %d", got.Generation)
+				if got := scriptedpeer.Within(t, updates, "list of the watch that answers"); got.Generation != 9 {
+					t.Errorf("generation %d", got.Generation)
 				}
 				if took := time.Since(from); took > 6*time.Second {
-					t.Errorf("told %v after the watch fell silent", took)
+					t.Errorf("updated %v after the watch fell silent", took)
 				}
 			})
 		}
 	}
 }
 
-// A discovery that begins anew with lower generations is believed once its whole list says so too. What comes late on an open
-// watch is passed over as before, and an endpoint known to drain is not brought back by it.
-func TestGenerationsBeginAnew(t *testing.T) {
+// A discovery that restarts with lower generations is believed once its complete list says so too. What comes late on an
+// open watch is ignored as before, and an endpoint known to drain is not brought back by it.
+func TestGenerationsRestart(t *testing.T) {
 	b := scripteddiscovery.New(t)
 	told := watching(t, b, scriptedpeer.Soon)
 	expect := func(want string) {
--- a/internal/monotime/monotime.go
+++ b/internal/monotime/monotime.go
@@ -1,4 +1,4 @@
-// Package monotime holds the time that the decision packages work with: whole microseconds on a monotonic clock.
+// Package monotime has the time that the decision packages work with: whole microseconds on a monotonic clock.
 //
 // An instant is a count of microseconds since an origin that the host chooses (the start of the process, the start of a
 // simulation); it says nothing about the time of day. A duration is the difference of two instants. Hosts convert from and
