--- /dev/null
+++ b/internal/experiment/processes/discovery.go
@@ -0,0 +1,60 @@
+package processes
+
+import (
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/monotime"
+)
+
+// entry is an endpoint's entry for an instance.
+func (r *run) discoveryEntry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
+	p := &r.plan.Endpoints[n]
+	e := discovery.Instance{ID: p.Name, Address: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.EndpointKinds[p.Kind].Kind,
+		Cell: uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
+	if started > 0 {
+		e.StartedMs = r.wallTime(started).UnixMilli()
+	}
+	return e
+}
+
+// entries are those of all endpoints for an instance, as the run begins.
+func (r *run) discoveryEntries(instance int) (all []discovery.Instance) {
+	for i := range r.plan.Endpoints {
+		started := monotime.Micros(0)
+		if r.plan.Endpoints[i].StartsWithRun {
+			started = 1
+		}
+		all = append(all, r.discoveryEntry(i, instance, "up", started))
+	}
+	return all
+}
+
+// change tells discovery how it stands with an endpoint, after the time that it takes to hear of it.
+func (r *run) announceState(n int, state balancer.EndpointState, vanished bool) {
+	d := &r.plan.Discovery
+	after := d.Add
+	lifecycle := "up"
+	switch {
+	case vanished:
+		after, lifecycle = d.Silent, "removed"
+	case state == balancer.Draining:
+		after, lifecycle = d.Drain, "draining"
+	case state == balancer.Gone:
+		after, lifecycle = d.Gone, "removed"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.discoveryChanges++
+	now := r.now()
+	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
+	announceAt := now + monotime.Micros(lo+(hi-lo)*r.discoveryRand.For(uint64(n), r.discoveryChanges).Float64()) + r.discoveryDelay
+	announceAt = max(announceAt, r.lastAnnounced[n]+1)
+	r.lastAnnounced[n] = announceAt
+	time.AfterFunc(time.Duration(announceAt-now)*time.Microsecond, func() {
+		for _, in := range r.instances {
+			in.discovery.Set(r.discoveryEntry(n, in.index, lifecycle, now))
+		}
+	})
+}
--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/endpoint.go
@@ -1,14 +1,8 @@
 package processes
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -42,16 +36,6 @@
 	fronts   []*front
 }
 
-// front is where one instance finds the endpoint.
-type front struct {
-	endpoint *endpoint
-	instance int
-	addr     string
-	listener *silenceableListener
-	http     *http.Server
-	done     chan struct{}
-}
-
 // waiting is a request that an endpoint holds.
 type pendingJob struct {
 	ended  chan simendpoint.Completion
@@ -95,21 +79,6 @@
 	return e.applySilenceLocked()
 }
 
-// silent says whether nothing comes through between an instance and the endpoint, towards the endpoint or back.
-func (f *front) isSilenced(back bool) bool {
-	e := f.endpoint
-	e.mu.Lock()
-	mute := e.vanished
-	e.mu.Unlock()
-	now := e.run.now()
-	for i := range e.run.plan.PlannedEvents {
-		if e.run.plan.PlannedEvents[i].Blocks(now, f.instance, e.index, back) {
-			return true
-		}
-	}
-	return mute || e.run.isPartitioned(e.run.plan.Instances[f.instance].Zone, e.plan.Zone)
-}
-
 // hush has the listeners be silent or not, as things stand.
 func (e *endpoint) applySilence() error {
 	e.frontsMu.Lock()
@@ -165,8 +134,6 @@
 	}
 }
 
-// ---- The endpoint's life ------------------------------------------------------
-
 // work takes what has ended by now, and arms the timer for what ends next. The caller holds mu.
 func (e *endpoint) advance() {
 	now := e.run.now()
@@ -281,138 +248,3 @@
 	e.run.announceState(e.index, balancer.Ready, false)
 	return e.listen()
 }
-
-// ---- Requests -------------------------------------------------------------------
-
-// way waits for as long as a message takes between an instance and the endpoint.
-func (f *front) networkDelay() {
-	p := f.endpoint.run.plan
-	mean := p.Network.Between.Duration
-	if p.Instances[f.instance].Zone == f.endpoint.plan.Zone {
-		mean = p.Network.Within.Duration
-	}
-	mean += time.Duration(p.Network.Jitter * rand.ExpFloat64() * float64(mean))
-	mean += time.Duration(p.ExtraDelay(f.endpoint.run.now(), f.instance, f.endpoint.index)) * time.Microsecond
-	sleepUntil(time.Now().Add(mean))
-}
-
-// ServeHTTP takes a request or a probe.
-func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e := f.endpoint
-	f.networkDelay()
-	if f.isSilenced(false) {
-		_, _ = io.Copy(io.Discard, r.Body) // package http notices that its connection ends only once the body is read
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if strings.HasPrefix(r.URL.Path, "/-/") {
-		f.serveProbe(r.Context(), w)
-		return
-	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return // it has not come whole, so it has not run
-	}
-	job, err := e.run.parseJob(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusNotFound)
-		return
-	}
-	e.run.maintenance.countRequest(e.index)
-	e.run.updateCounts(func(c *counts) {
-		c.attempts++
-		if job.retry {
-			e.run.recordArrival(e.index, measure.ExtraAttempt)
-		} else {
-			e.run.recordArrival(e.index, measure.FirstAttempt)
-		}
-		if e.run.plan.Instances[f.instance].Zone != e.plan.Zone {
-			c.crossZone++
-		}
-	})
-	wait := &pendingJob{make(chan simendpoint.Completion, 1), make(chan struct{})}
-	job.Job.HostData = wait
-	e.mu.Lock()
-	e.advance()
-	fell := e.node.Collapsed()
-	v := simendpoint.Rejected
-	if e.node.Up() {
-		v = e.node.Arrive(e.run.now(), &job.Job)
-	}
-	if !fell && e.node.Collapsed() {
-		e.run.updateCounts(func(c *counts) { c.collapses++ })
-	}
-	e.maxInFlight = max(e.maxInFlight, e.node.InFlight())
-	e.advance()
-	e.mu.Unlock()
-	if v == simendpoint.Accepted {
-		v = f.awaitJob(r.Context(), job, wait)
-	}
-	f.networkDelay()
-	if f.isSilenced(true) {
-		v = simendpoint.Unanswered
-	}
-	switch v {
-	case simendpoint.Rejected:
-		w.Header().Set("X-Never-Ran", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case simendpoint.Failed:
-		w.WriteHeader(http.StatusInternalServerError)
-	case simendpoint.Unanswered:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	default:
-		_, _ = io.WriteString(w, r.Header.Get("X-Trace-Id")) // a client that has gone needs none
-	}
-}
-
-// wait waits for a request's end at the endpoint.
-func (f *front) awaitJob(ctx context.Context, j *job, w *pendingJob) simendpoint.Verdict {
-	select {
-	case x := <-w.ended:
-		f.endpoint.run.recordExecution(j, x)
-		return x.Verdict
-	case <-w.killed:
-		panic(http.ErrAbortHandler) // the process died
-	case <-ctx.Done():
-	}
-	e := f.endpoint
-	e.mu.Lock()
-	gone := e.node.Cancel(e.run.now(), &j.Job)
-	e.advance()
-	e.mu.Unlock()
-	if !gone { // it runs all the same
-		go func() {
-			select {
-			case x := <-w.ended:
-				e.run.recordExecution(j, x)
-			case <-w.killed:
-			}
-		}()
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// probe answers with a load report.
-func (f *front) serveProbe(ctx context.Context, w http.ResponseWriter) {
-	e := f.endpoint
-	e.run.updateCounts(func(c *counts) {
-		c.probes++
-		e.run.recordArrival(e.index, measure.ProbeArrival)
-	})
-	e.mu.Lock()
-	e.advance()
-	l := e.node.Probe(e.run.now(), e.run.reportRand)
-	e.mu.Unlock()
-	values := map[balancer.LoadMetric]float64{balancer.MetricInflight: l.Inflight, balancer.MetricQueueLength: l.Queue, balancer.MetricUtilization: l.Util,
-		balancer.MetricLatency: l.LatencyMS, balancer.MetricServedRate: l.Served, balancer.MetricErrorRate: l.Errors}
-	var parts []string
-	for i, name := range e.run.reportFields() {
-		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(values[e.run.site.Settings.LoadMetrics[i]], 'f', 4, 64)))
-	}
-	f.networkDelay()
-	if f.isSilenced(true) {
-		<-ctx.Done()
-		panic(http.ErrAbortHandler)
-	}
-	_, _ = io.WriteString(w, "TEXT "+strings.Join(parts, ", ")) // a client that has gone needs none
-}
