--- a/internal/frontend/http1/accept.go
+++ b/internal/frontend/http1/accept.go
@@ -9,15 +9,18 @@
 )
 
 const (
-	minAcceptBackoff  = 5 * time.Millisecond
-	maxAcceptBackoff  = time.Second
+	// Bounds of the pause after an error of accept.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
+	// queuePollTimeout is how long acceptQueued waits for one connection, maxQueueDrainTime for all: a full queue
+	// takes far less.
 	queuePollTimeout  = 5 * time.Millisecond
-	maxQueueDrainTime = 100 * time.Millisecond // a full queue takes far less
+	maxQueueDrainTime = 100 * time.Millisecond
 )
 
-// Identify tells whose connection one is. gone is called once the connection has ended; it may be nil. A
-// connection of nobody who may connect is an error.
-type Identify func(net.Conn) (c *Client, gone func(), err error)
+// Identify returns the client that a connection belongs to, or an error if nobody who may connect does. onClose is
+// called once the connection has ended; it may be nil.
+type Identify func(net.Conn) (c *Client, onClose func(), err error)
 
 // accept serves connections until ln is closed or its deadline passes.
 func (m *connManager) accept(ln net.Listener, identify Identify) error {
@@ -31,9 +34,9 @@
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
-			// No descriptor is left, perhaps: one that is not needed makes room.
+			// Perhaps no descriptor is left: an idle connection is closed to free one.
 			if backoff == minAcceptBackoff {
-				m.log.Warn("accept", "error", err)
+				m.log.Warn("accept failed", "error", err)
 			}
 			m.mu.Lock()
 			m.closeLocked(m.table.Evictable())
@@ -44,27 +47,28 @@
 	}
 }
 
-// acceptRest serves the connections that wait in ln's queue, and returns once there is none: closing ln would reset them, with
-// what their clients have sent. Nobody else may accept meanwhile. Clients who come without end do not keep it going.
+// acceptQueued serves the connections that are in ln's queue, and returns once it is empty: closing ln would reset
+// them, with what their clients have sent. Nothing else may accept on ln meanwhile. It takes at most
+// maxQueueDrainTime.
 func (m *connManager) acceptQueued(ln net.Listener, identify Identify) {
 	bounded, ok := ln.(interface{ SetDeadline(time.Time) error })
 	if !ok {
 		return
 	}
 	for end := time.Now().Add(maxQueueDrainTime); time.Now().Before(end); {
-		_ = bounded.SetDeadline(time.Now().Add(queuePollTimeout)) // what waits is taken without waiting
+		_ = bounded.SetDeadline(time.Now().Add(queuePollTimeout)) // a queued connection is accepted at once
 		netConn, err := ln.Accept()
 		switch {
 		case err == nil:
 			m.add(netConn, identify)
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !hasQueued(ln):
-			return // else we did not come to it within the deadline
+			return // otherwise the deadline passed before a queued connection was accepted
 		}
 	}
-	m.log.Warn("clients still connect as the listener closes: who waits there now is reset")
+	m.log.Warn("listen queue not drained, remaining connections are reset")
 }
 
-// queued says whether a connection waits to be accepted.
+// hasQueued reports whether a connection is in ln's queue.
 func hasQueued(ln net.Listener) bool {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -22,8 +22,8 @@
 // buffering, forwarding and responding, is the same as for routed requests (exchange.go).
 
 const (
-	// classBodyBuffer is how many bytes of a body are buffered in either direction. Up to so many bytes a message's time
-	// is that of its last byte, and beyond it that of its first (DAYS): buffering more would only make it later.
+	// classBodyBuffer is how many bytes of a body are buffered in either direction. Up to so many bytes a message's
+	// time is that of its last byte, and beyond it that of its first (DAYS): buffering more would only make it later.
 	classBodyBuffer = siteconfig.MaxBodyBytes
 	// classIdleTimeout is how long a streamed message may pause. Peers write slowly and in pieces, a client 64 kB a
 	// second at the least; one that is silent for longer than any request may take is gone.
@@ -173,7 +173,8 @@
 		return requestErrorf(http.StatusBadRequest, "class %q takes no body", class)
 	}
 	if idempotency == balancer.IdempotentByKey && req.Header.Get("Idempotency-Key") == "" {
-		return requestErrorf(http.StatusBadRequest, "Idempotency-Key is missing") // a repetition could not be recognized
+		// A repetition could not be recognized.
+		return requestErrorf(http.StatusBadRequest, "Idempotency-Key is missing")
 	}
 	return nil
 }
@@ -234,9 +235,9 @@
 // pipelinedMethods are what a request that follows another on its connection may start with.
 var pipelinedMethods = [][]byte{[]byte("GET "), []byte("POST "), []byte("HEAD ")}
 
-// mayStartRequest reports whether the bytes behind a request can be the start of the next one. A client of PROTOCOL that
-// sends more than its request's length has stated a wrong length: it must not be served with what an endpoint makes of
-// a part.
+// mayStartRequest reports whether the bytes behind a request can be the start of the next one. A client of PROTOCOL
+// that sends more than its request's length has stated a wrong length: it must not be served with what an endpoint
+// makes of a part.
 func mayStartRequest(b []byte) bool {
 	return slices.ContainsFunc(pipelinedMethods, func(method []byte) bool {
 		n := min(len(b), len(method))
--- a/internal/frontend/http1/client_watch.go
+++ b/internal/frontend/http1/client_watch.go
@@ -9,37 +9,46 @@
 	"time"
 )
 
-// lookEvery is how often it is looked whether a client has left of whose connection nothing more can be read meanwhile.
+// clientPollInterval is how often the kernel is asked whether a client has closed its connection, where the connection
+// cannot be read.
 const clientPollInterval = 50 * time.Millisecond
 
-// watch tells whether a client leaves while its request waits. What it sends meanwhile, the beginning of its next request
-// perhaps, is read and kept: its end stands behind that. Where nothing more can be read, since the buffer is full or the
-// present request's body is still to be read, the kernel is asked.
+// clientWatch detects that a client closes its connection while its request is in flight. What it sends meanwhile,
+// perhaps the start of its next request, is read into the connection's buffer: the end of the connection is behind
+// that. Where no more can be read, since the buffer is full or the current request's body is still to be read, the
+// kernel is polled.
 type clientWatch struct {
-	gone         chan error    // the client has left
-	inputArrived chan struct{} // its first bytes have come: behind
+	gone         chan error    // the client has closed its connection
+	inputArrived chan struct{} // pipelined is set
 
 	conn       *conn
 	readsInput bool
-	pipelined  []byte
+	pipelined  []byte // the first bytes that arrived behind the request
 	stopping   chan struct{}
-	done       chan struct{} // nil before begin
+	done       chan struct{} // nil before start
 }
 
-// errLeft is of a client whose end has come, behind bytes that have not been read.
+// errClientGone is sent where the kernel reports the end of a connection behind unread bytes.
 var errClientGone = errors.New("the client has left")
 
-// newWatch returns a watch that does not run yet. It reads where nobody else does.
+// newClientWatch returns a watch that is not started. readsInput has it read the connection, which nobody else may do
+// then.
 func (c *conn) newClientWatch(readsInput bool) *clientWatch {
-	return &clientWatch{conn: c, readsInput: readsInput, gone: make(chan error, 1), inputArrived: make(chan struct{}, 1), stopping: make(chan struct{})}
+	return &clientWatch{
+		conn:         c,
+		readsInput:   readsInput,
+		gone:         make(chan error, 1),
+		inputArrived: make(chan struct{}, 1),
+		stopping:     make(chan struct{}),
+	}
 }
 
-// left says, without waiting, whether the client has left before the watch began.
+// clientGone reports, without waiting, whether the client closed its connection before the watch was started.
 func (w *clientWatch) clientGone() bool {
 	return (!w.readsInput || w.conn.buffer.Buffered() == 0) && w.conn.input.peerClosed()
 }
 
-// begin starts the watch.
+// start starts the watch's goroutine.
 func (w *clientWatch) start() {
 	w.done = make(chan struct{})
 	w.conn.SetReadDeadline(time.Time{})
@@ -58,7 +67,7 @@
 	}()
 }
 
-// read reads until nothing more can be.
+// readInput reads until nothing more can be read.
 func (w *clientWatch) readInput() error {
 	first := true
 	for w.readsInput {
@@ -67,13 +76,13 @@
 		more := w.conn.buffer.Buffered()
 		if first && n == 0 && more > 0 {
 			b, _ := w.conn.buffer.Peek(more)
-			w.pipelined = bytes.Clone(b) // reading on moves them
+			w.pipelined = bytes.Clone(b) // later reads move them
 			w.inputArrived <- struct{}{}
 		}
 		first = first && more == 0
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull), err == io.EOF && w.conn.readLimit.N <= 0:
-			return nil // no more of it can be read
+			return nil // no more can be read
 		case err != nil:
 			return err
 		}
@@ -81,10 +90,10 @@
 	return nil
 }
 
-// look asks the kernel now and then.
+// pollSocket polls the kernel until the client has closed its connection or the watch is stopped.
 func (w *clientWatch) pollSocket() error {
 	if w.conn.input.rawConn == nil {
-		return nil // no socket
+		return nil // not a socket
 	}
 	tick := time.NewTicker(clientPollInterval)
 	defer tick.Stop()
@@ -100,7 +109,7 @@
 	}
 }
 
-// end ends the watch. From then on the connection can be read again.
+// stop ends the watch and waits for its goroutine. The connection can be read again after it returns.
 func (w *clientWatch) stop() {
 	close(w.stopping)
 	if w.readsInput {
@@ -109,13 +118,13 @@
 	<-w.done
 }
 
-// left says, without waiting, whether the other side has ended the connection, whatever has come before that.
+// peerClosed reports, without waiting, whether the client has closed the connection, whatever has arrived before that.
 func (p *peekableConn) peerClosed() bool {
 	if p.rawConn == nil {
 		return false
 	}
 	closed := false
-	// A connection that is closed already calls nothing, and has not been ended by the other side.
+	// The callback is not called where this side has closed the connection already.
 	_ = p.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -125,7 +134,7 @@
 			closed = true
 		case n == 0:
 			closed = true
-		default: // its end may stand behind that
+		default: // the end may be behind the bytes
 			closed = pollEvents(fd, pollRDHup) != 0
 		}
 	})
--- a/internal/frontend/http1/clients.go
+++ b/internal/frontend/http1/clients.go
@@ -6,34 +6,34 @@
 	"dunlinsail/internal/engine"
 )
 
-// Client is whose connections are bounded, and whose requests are shared out, together.
+// Client is a client of the server: its connections are limited, and its requests scheduled, as one.
 type Client struct {
 	Name         string
 	engineClient *engine.Client
-	connOwner    *connlimit.Owner[*conn] // guarded by connections.mu
+	connOwner    *connlimit.Owner[*conn] // guarded by connManager.mu
 }
 
-// Spec is what a client may do. A bound of 0 is no bound.
+// ClientSettings are the limits of a client. A limit of 0 is none of its own.
 type ClientSettings struct {
 	fairqueue.ClientSpec
 	MaxConnections int
-	MaxBytes       int64 // that its requests and their answers may hold
+	MaxBytes       int64 // buffered for its requests and their responses
 }
 
-// NewClient returns a client of the front, or the error of a spec that makes no sense.
+// NewClient returns a client, or an error if the settings are invalid.
 func (s *Server) NewClient(settings ClientSettings) (*Client, error) {
-	share, err := engine.NewClient(settings.ClientSpec)
+	engineClient, err := engine.NewClient(settings.ClientSpec)
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{Name: settings.Name, engineClient: share}
+	c := &Client{Name: settings.Name, engineClient: engineClient}
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
 	c.connOwner = s.conns.table.NewOwner(settings.Weight, s.maxConnections(settings), settings.MaxBytes)
 	return c, nil
 }
 
-// ChangeClient gives a client another spec; what it has open stays open.
+// UpdateClient changes a client's settings. Its open connections and requests are not affected.
 func (s *Server) UpdateClient(c *Client, settings ClientSettings) error {
 	if err := s.options.Core.SetClientSpec(c.engineClient, settings.ClientSpec); err != nil {
 		return err
@@ -51,8 +51,8 @@
 	return s.options.Limits.MaxConnections
 }
 
-// Held returns how many connections a client has, how many of them have an open request, and how many bytes are
-// held for it.
+// ClientUsage returns how many connections a client has, how many of them have an open request, and how many bytes are
+// reserved for it.
 func (s *Server) ClientUsage(c *Client) (all, busy int, bytes int64) {
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -10,31 +10,35 @@
 	"dunlinsail/internal/decide/connlimit"
 )
 
-// conn is a client's connection.
+// conn is a client's connection. Unless noted it is used by the goroutine that serves it only.
 type conn struct {
 	net.Conn
 	client    *Client
 	input     *peekableConn
-	readLimit io.LimitedReader // what may still be read for the present request, from in
-	buffer    *bufio.Reader    // nil while nothing is being read: a connection at rest holds no buffer
+	readLimit io.LimitedReader // what may still be read from input for the current request
+	buffer    *bufio.Reader    // nil while nothing is being read: an idle connection holds no buffer
 
-	// Guarded by connections.mu.
+	// Guarded by connManager.mu.
 	entry           *connlimit.Conn[*conn]
-	awaitingRequest bool // it waits for the first byte of a request
-	requestStarted  bool // a request has begun to come that is not taken yet
-	interrupted     bool // release has ended that wait; it is not over for it
-	lastHandoff     int  // the release in which it was last offered to another process
+	awaitingRequest bool // the connection waits for the first byte of a request
+	requestStarted  bool // a request has started to arrive that is not marked busy yet
+	interrupted     bool // setHandoff has interrupted that wait, to offer the connection
+	lastHandoff     int  // value of connManager.handoffs when it was last offered
 }
 
-// past is a deadline that ends a read at once.
+// expiredDeadline is a deadline that ends a read at once.
 var expiredDeadline = time.Unix(1, 0)
 
-// readers are the buffers of connections that are being read.
+// readBufferSize is the size of a read buffer. Most heads are smaller.
+const readBufferSize = 4 << 10
+
+// readerPool has the read buffers that no connection uses.
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
-const readBufferSize = 4 << 10 // most heads are smaller
+// hasBuffered reports whether bytes have been read that are not used yet.
+func (c *conn) hasBuffered() bool { return c.buffer != nil && c.buffer.Buffered() > 0 }
 
-// reader returns the connection's buffer, a fresh one if it has none.
+// ensureBuffer returns the connection's buffer, an empty one from the pool if it has none.
 func (c *conn) ensureBuffer() *bufio.Reader {
 	if c.buffer == nil {
 		c.buffer = readerPool.Get().(*bufio.Reader)
@@ -43,10 +47,10 @@
 	return c.buffer
 }
 
-// releaseReader gives the buffer back, if nothing is in it.
+// releaseBuffer returns the buffer to the pool if it is empty.
 func (c *conn) releaseBuffer() {
 	if c.buffer != nil && c.buffer.Buffered() == 0 {
-		c.buffer.Reset(nil) // it must not show one client's bytes to another, nor keep a connection alive
+		c.buffer.Reset(nil) // a pooled buffer must not expose bytes to another client, nor keep a connection alive
 		if c.buffer.Size() == readBufferSize {
 			readerPool.Put(c.buffer)
 		}
@@ -54,7 +58,7 @@
 	}
 }
 
-// readable waits until something can be read, or the connection has ended, without holding a buffer meanwhile.
+// waitReadable waits until something can be read or the connection has ended. On a socket it holds no buffer meanwhile.
 func (c *conn) waitReadable() error {
 	if c.input.rawConn == nil {
 		_, err := c.ensureBuffer().Peek(1) // not a socket
@@ -64,20 +68,19 @@
 }
 
 const (
-	writeTimeout   = time.Second
+	writeTimeout   = time.Second // of a response of this process
 	lingerTimeout  = 200 * time.Millisecond
 	maxLingerBytes = 64 << 10
 )
 
-// turnAway answers what is not taken, and ends the connection's use. What the client may still be sending is
-// read for a little, since closing on unread bytes would take the answer away from it again.
+// reject writes a response to a request that is not read to its end, and ends the connection's use.
 func (c *conn) reject(response *localResponse) {
 	c.writeResponse(response, true)
 	c.linger()
 }
 
-// linger ends the use of a connection on which something may still be coming: closing on unread bytes would take the answer
-// away from the client.
+// linger ends the use of a connection on which the client may still be sending. It reads for a little longer: closing
+// with unread bytes would reset the connection before the client has read the response (RFC 9112 section 9.6).
 func (c *conn) linger() {
 	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite() // it may be closed already
@@ -86,7 +89,7 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // until its end, or the deadline
 }
 
-// reset ends the connection in a way that no client takes for an answer's end.
+// abort resets the connection, which no client can take for the end of a response.
 func (c *conn) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -11,26 +11,27 @@
 	"dunlinsail/internal/decide/connlimit"
 )
 
-// connections accepts clients' connections and bounds their number. This package does that itself, not
-// http.Server, since it must know what else waits on a connection behind a request, and which connection it can
-// best do without.
+// connManager accepts clients' connections and limits their number. http.Server is not used: it does not tell what else
+// has arrived on a connection behind a request, nor which connection can best be closed for another.
 type connManager struct {
 	clock clock.Clock
-	serve func(*conn) // until the connection is to be closed
+	serve func(*conn) // returns once the connection is to be closed
 	log   *slog.Logger
 
 	mu          sync.Mutex
 	table       *connlimit.Table[*conn]
-	expiryTimer *time.Timer // looks for what has rested too long
+	expiryTimer *time.Timer // closes connections that have been idle for too long
 	closing     bool
 	serving     int             // connections that are being served
-	drained     []chan struct{} // to be closed once there are none
+	drained     []chan struct{} // closed once serving is 0
 
-	handoff  func(net.Conn) bool // takes connections at rest over; nil while none are handed over
-	handoffs int                 // how often that has begun
+	handoff  func(net.Conn) bool // takes over idle connections; nil while none are handed over
+	handoffs int                 // number of setHandoff calls that started handing over
 }
 
-func newConnManager(limits connlimit.Limits, clk clock.Clock, serve func(*conn), log *slog.Logger) (*connManager, error) {
+func newConnManager(
+	limits connlimit.Limits, clk clock.Clock, serve func(*conn), log *slog.Logger,
+) (*connManager, error) {
 	m := &connManager{clock: clk, serve: serve, log: log}
 	var err error
 	if m.table, err = connlimit.New(limits, m.isEvictable); err != nil {
@@ -40,11 +41,11 @@
 	return m, nil
 }
 
-// add takes a connection in, if it may be.
+// add serves a connection in a goroutine of its own, or closes it if identify or the limits reject it.
 func (m *connManager) add(netConn net.Conn, identify Identify) {
 	client, onClose, err := identify(netConn)
 	if err != nil {
-		m.log.Warn("connection turned away", "from", netConn.RemoteAddr().String(), "error", err)
+		m.log.Warn("connection rejected", "from", netConn.RemoteAddr().String(), "error", err)
 		netConn.Close()
 		return
 	}
@@ -58,7 +59,7 @@
 	entry, evicted := m.table.Add(m.clock.Now(), client.connOwner, c)
 	m.closeLocked(evicted)
 	if entry == nil {
-		netConn.Close() // all others are waiting for their answers
+		netConn.Close() // no other can be evicted: all have open requests
 		onClose()
 		return
 	}
@@ -69,19 +70,25 @@
 		m.serve(c)
 		c.releaseBuffer()
 		onClose()
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.closeLocked(c.entry)
-		if m.serving--; m.serving == 0 {
-			for _, ch := range m.drained {
-				close(ch)
-			}
-			m.drained = nil
-		}
+		m.remove(c)
 	}()
 }
 
-// wait waits until no connection is served, or ctx ends.
+// remove closes a connection that is not served any more.
+func (m *connManager) remove(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closeLocked(c.entry)
+	m.serving--
+	if m.serving == 0 {
+		for _, drained := range m.drained {
+			close(drained)
+		}
+		m.drained = nil
+	}
+}
+
+// waitDrained returns nil once no connection is served, or the error of ctx once that ends.
 func (m *connManager) waitDrained(ctx context.Context) error {
 	m.mu.Lock()
 	drained := make(chan struct{})
@@ -106,7 +113,7 @@
 	}
 }
 
-// expire closes what has rested for too long.
+// closeExpired closes the connections that have been idle for too long.
 func (m *connManager) closeExpired() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -127,7 +134,7 @@
 	}
 }
 
-// take notes that a connection has an open request, unless it has been closed meanwhile.
+// markBusy notes that a connection has an open request. It reports false if the connection has been closed meanwhile.
 func (m *connManager) markBusy(c *conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -135,26 +142,26 @@
 	return m.table.MarkBusy(c.entry)
 }
 
-// hold notes that n bytes more are held for a connection, if its client may hold them; if they must be held, it
-// may not say no.
+// reserveBytes counts n more buffered bytes for a connection, and reports whether its client's limit allows them. With
+// force they are counted whatever the limit.
 func (m *connManager) reserveBytes(c *conn, n int64, force bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.table.ReserveBytes(c.entry, n, force)
 }
 
-// rest notes that a request has its answer, and says whether the connection may stay open. While all are to close it may for
-// a next request that has come, or begun to.
+// finishRequest notes that a request has its response, and reports whether the connection may stay open. While the
+// manager is closing it may only for a next request that has started to arrive.
 func (m *connManager) finishRequest(c *conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0)
+	c.input.setUnexamined(c.hasBuffered())
 	m.closeLocked(m.table.MarkIdle(m.clock.Now(), c.entry))
 	m.closeExpiredLocked()
 	return !m.closing || !c.input.isDrained()
 }
 
-// cut closes all connections, those with open requests too.
+// closeAll closes all connections, including those with open requests.
 func (m *connManager) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -162,8 +169,8 @@
 	m.table.Each(func(c *connlimit.Conn[*conn]) { c.Value.Close() })
 }
 
-// hush closes the connections without an open request; those with one, or of which a part has come, close once they have their
-// answers.
+// quiesce closes the connections without an open request. Those with one, or of which a part has arrived, close after
+// their responses.
 func (m *connManager) quiesce() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -173,22 +180,22 @@
 	}
 }
 
-// hushHalves closes the connections of whose request a part has come, and returns how many: it is not waited for any longer.
+// closePartialRequests closes the connections on which only a part of a request has arrived, and returns how many.
 func (m *connManager) closePartialRequests() (n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Each(func(p *connlimit.Conn[*conn]) {
-		if c := p.Value; c.requestStarted && c.input.isDrained() {
-			m.closeLocked(p)
+	m.table.Each(func(entry *connlimit.Conn[*conn]) {
+		if c := entry.Value; c.requestStarted && c.input.isDrained() {
+			m.closeLocked(entry)
 			n++
 		}
 	})
 	return n
 }
 
-// rests says whether a connection can be closed without taking a request with it: nothing has come on it that has not been looked
-// at. One of whose request a part has come may have to make room for others, whose requests may be whole; but where all are to
-// close it does not for that alone: its client, who did not see it rest, would not send the request again.
+// isEvictable reports whether a connection can be closed without losing a request: no bytes on it are unexamined. One
+// on which a part of a request has arrived may be evicted for others, but not merely because the manager is closing:
+// its client, to which the connection was not idle, would not send the request again.
 func (m *connManager) isEvictable(c *conn) bool {
 	return c.input.isDrained() && !(m.closing && c.requestStarted)
 }
--- a/internal/frontend/http1/exchange_record.go
+++ b/internal/frontend/http1/exchange_record.go
@@ -21,7 +21,8 @@
 	RequestBytes   int64  // of the request's body; -1 is not known
 	ResponseBytes  int64  // of the response's body as far as it was buffered; -1 is not known
 
-	ClientGone bool            // the client closed its connection before the response; the fields below are not set then
+	// ClientGone is set if the client closed its connection before the response. The fields below are not set then.
+	ClientGone bool
 	Response   engine.Response // its Result must not be used any more
 	Status     int             // HTTP status that the client received
 }
--- a/internal/frontend/http1/handoff.go
+++ b/internal/frontend/http1/handoff.go
@@ -9,8 +9,11 @@
 	"dunlinsail/internal/decide/connlimit"
 )
 
-// release hands connections over as soon as they rest, from now on: to is called for each, and says whether it
-// has been taken; our own end of it is closed then. What is not taken goes on here. nil ends that.
+// This file hands idle connections over to another process (hot restart). A connection without an open request, and
+// of whose next request no byte has been read, can be served on there without its client noticing. One with an open
+// request follows after its response.
+
+// setHandoff has each connection handed over as soon as it is idle: see Server.SetHandoff.
 func (m *connManager) setHandoff(handoff func(net.Conn) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -23,23 +26,23 @@
 		return
 	}
 	m.handoffs++
-	m.table.EachIdle(func(p *connlimit.Conn[*conn]) {
-		if c := p.Value; c.awaitingRequest {
+	m.table.EachIdle(func(entry *connlimit.Conn[*conn]) {
+		if c := entry.Value; c.awaitingRequest {
 			c.interrupted = true
 			c.SetReadDeadline(expiredDeadline)
 		}
 	})
 }
 
-// park waits for the first byte of a request until a deadline, zero for as long as the connection may rest, and
-// says whether it has come. A connection that is handed over meanwhile is not used here any more.
+// awaitRequest waits for the first byte of a request until a deadline, zero for as long as the connection may be idle,
+// and reports whether it has arrived. A connection that is handed over meanwhile must not be used any more.
 func (m *connManager) awaitRequest(c *conn, deadline time.Time) bool {
 	c.releaseBuffer()
 	if c.buffer != nil {
 		m.mu.Lock()
 		c.requestStarted = true
 		m.mu.Unlock()
-		return true // it has come already
+		return true // it has been read already
 	}
 	for {
 		if handoff := m.startAwait(c, deadline); handoff != nil {
@@ -50,11 +53,13 @@
 		}
 		err := c.waitReadable()
 		m.mu.Lock()
-		// Whoever called may have been told meanwhile that nothing is to be handed over after all.
+		// The handing over may have ended since it interrupted the wait; the wait goes on then.
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 		again := c.interrupted && timedOut
-		arrived := err == nil || timedOut && !c.input.isDrained() // it has come as its time was up
-		c.awaitingRequest, c.interrupted, c.requestStarted = false, false, arrived && !again
+		arrived := err == nil || timedOut && !c.input.isDrained() // it arrived at the deadline
+		c.awaitingRequest = false
+		c.interrupted = false
+		c.requestStarted = arrived && !again
 		m.mu.Unlock()
 		if !again {
 			return arrived
@@ -62,7 +67,7 @@
 	}
 }
 
-// parking notes that a connection waits, or returns what it is to be handed to first.
+// startAwait notes that a connection waits for a request, or returns the function that it is to be offered to first.
 func (m *connManager) startAwait(c *conn, deadline time.Time) (handoff func(net.Conn) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/frontend/http1/head.go
+++ b/internal/frontend/http1/head.go
@@ -9,8 +9,8 @@
 	"dunlinsail/internal/http1msg"
 )
 
-// request reads a request's head, strictly. also are fields that must be single and end to end beside those that
-// always must. Its error is a *message.Error where the head makes no sense.
+// readRequest reads a request's head, strictly. singletons are fields that must occur once at most and be end to end,
+// in addition to http1msg.SingletonHeaders. Its error is an *http1msg.HeadError where the head is malformed.
 func (c *conn) readRequest(singletons map[string]bool) (*http.Request, error) {
 	head, err := c.readHead()
 	if err != nil {
@@ -26,7 +26,7 @@
 	return r, err
 }
 
-// head waits for a request's head and returns it, up to and with its empty line, without taking it from the
+// readHead waits for a request's head and returns it, its empty line included, without consuming it from the
 // connection's buffer.
 func (c *conn) readHead() ([]byte, error) {
 	r := c.ensureBuffer()
@@ -49,7 +49,7 @@
 	}
 }
 
-// enlarge gives the connection a buffer that holds the largest head. It lasts until the connection rests.
+// enlargeBuffer replaces the connection's buffer by one that holds the largest head, until the connection is idle.
 func (c *conn) enlargeBuffer() *bufio.Reader {
 	b, _ := c.buffer.Peek(c.buffer.Buffered())
 	received := bytes.NewReader(bytes.Clone(b))
--- a/internal/frontend/http1/outcomes.go
+++ b/internal/frontend/http1/outcomes.go
@@ -5,10 +5,14 @@
 	"sync"
 )
 
-// Counts are how requests of one class ended for their clients.
-type OutcomeCounts struct{ Fulfilled, Throttled, Faulted uint64 }
+// OutcomeCounts are the numbers of requests of one class by the status of their final response.
+type OutcomeCounts struct {
+	Fulfilled uint64 // status 200 to 399
+	Throttled uint64 // status 429 or 503
+	Faulted   uint64 // any other
+}
 
-// counts counts them; every request that has its final answer comes by settle, once.
+// outcomeCounter counts final responses by class.
 type outcomeCounter struct {
 	mu      sync.Mutex
 	classes []OutcomeCounts
@@ -18,7 +22,7 @@
 	return outcomeCounter{classes: make([]OutcomeCounts, classes)}
 }
 
-// settle counts a final answer by the status that its client was told, 0 for none: its client had left.
+// record counts a final response by its status; 0 is none, since the client was gone.
 func (c *outcomeCounter) record(class uint8, status int) {
 	if status == 0 || int(class) >= len(c.classes) {
 		return
@@ -35,7 +39,8 @@
 	}
 }
 
-// Figures returns how requests ended since the start, by class as in the settings, and how many are open now.
+// RequestStats returns how requests ended since the start, by class in the order of the settings, and how many are
+// open.
 func (s *Server) RequestStats() (classes []OutcomeCounts, open int) {
 	s.outcomes.mu.Lock()
 	classes = append(classes, s.outcomes.classes...)
--- a/internal/frontend/http1/peekable.go
+++ b/internal/frontend/http1/peekable.go
@@ -7,16 +7,16 @@
 	"syscall"
 )
 
-// inlet is where a connection's bytes come in. It knows at each instant whether some have come that have not been looked
-// at, in the kernel or here: a connection that is closed then may take a whole request with it, unanswered.
+// peekableConn reads a connection. It can tell at each instant whether bytes have arrived that nobody has examined,
+// in the kernel or here: a connection that is closed then may lose a complete request.
 type peekableConn struct {
-	rawConn  syscall.RawConn // nil for what is no socket
+	rawConn  syscall.RawConn // nil if it is not a socket
 	fallback io.Reader       // read in that case
 
 	mu         sync.Mutex
-	unexamined bool // what the last read returned may be a whole request
+	unexamined bool // the bytes of the last read may be a complete request
 
-	// The present read's. The callback is made once, since each would allocate.
+	// Arguments and results of the current read. The callback is made once, since each would allocate.
 	readBuffer   []byte
 	readCount    int
 	readErr      error
@@ -34,7 +34,7 @@
 	return p
 }
 
-// Read reads what has come. Whoever calls again has looked at that.
+// Read reads what has arrived. A caller that calls again has examined the bytes of the call before.
 func (p *peekableConn) Read(b []byte) (int, error) {
 	if p.rawConn == nil {
 		p.setUnexamined(false)
@@ -49,7 +49,7 @@
 	err := p.rawConn.Read(p.readCallback)
 	p.readBuffer = nil
 	switch {
-	case err != nil: // a deadline, or it is closed
+	case err != nil: // a deadline has passed, or the connection is closed
 		return 0, err
 	case p.readErr != nil:
 		return 0, &net.OpError{Op: "read", Net: "socket", Err: p.readErr}
@@ -59,7 +59,8 @@
 	return p.readCount, nil
 }
 
-// receive makes one try, and says whether that was all. Bytes leave the kernel's sight and come into ours at once.
+// receive makes one attempt to read, and reports whether the read is over. Under the mutex bytes leave the kernel and
+// become unexamined in one step.
 func (p *peekableConn) receive(fd uintptr) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,14 +74,14 @@
 	return p.readErr != syscall.EAGAIN
 }
 
-// readable waits until something can be read, or the connection has ended.
+// waitReadable waits until something can be read, or the connection has ended.
 func (p *peekableConn) waitReadable() error {
 	p.setUnexamined(false)
-	return p.rawConn.Read(func(fd uintptr) bool { return peekErrno(fd) != syscall.EAGAIN })
+	return p.rawConn.Read(func(fd uintptr) bool { return pendingErrno(fd) != syscall.EAGAIN })
 }
 
-// peek tells what a read would: syscall.EAGAIN where nothing has come.
-func peekErrno(fd uintptr) error {
+// pendingErrno returns the error that a read would: syscall.EAGAIN where nothing has arrived.
+func pendingErrno(fd uintptr) error {
 	for {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -90,14 +91,14 @@
 	}
 }
 
-// rest says that what came has been looked at, but for what the reader still holds.
+// setUnexamined sets whether the caller's buffer has bytes that nobody has examined.
 func (p *peekableConn) setUnexamined(unexamined bool) {
 	p.mu.Lock()
 	p.unexamined = unexamined
 	p.mu.Unlock()
 }
 
-// empty says whether nothing has come that has not been looked at. The end of a connection is nothing.
+// isDrained reports whether no unexamined bytes have arrived. The end of a connection does not count as one.
 func (p *peekableConn) isDrained() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/frontend/http1/pollevents.go
+++ b/internal/frontend/http1/pollevents.go
@@ -5,20 +5,23 @@
 	"unsafe"
 )
 
-// Events of poll(2), which package syscall does not name.
+// Events of poll(2), which package syscall does not define.
 const (
 	pollIn    = 0x1
-	pollRDHup = 0x2000 // the other side has ended its sending
+	pollRDHup = 0x2000 // the peer has shut down its sending side
 )
 
-// polled says, without waiting, which of some events a descriptor has; none where it cannot be asked.
+// pollEvents returns, without waiting, which of the given events a descriptor has; none if it cannot be polled.
 func pollEvents(fd uintptr, events int16) int16 {
 	pollFD := struct {
 		fd              int32
 		events, revents int16
 	}{fd: int32(fd), events: events}
 	var timeout syscall.Timespec
-	if n, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&pollFD)), 1, uintptr(unsafe.Pointer(&timeout)), 0, 0, 0); errno != 0 || n == 0 {
+	n, _, errno := syscall.Syscall6(
+		syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&pollFD)), 1, uintptr(unsafe.Pointer(&timeout)), 0, 0, 0,
+	)
+	if errno != 0 || n == 0 {
 		return 0
 	}
 	return pollFD.revents & events
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -219,7 +219,8 @@
 	defer copyBufferPool.Put(buf)
 	for {
 		n, err := rest.Read(buf[chunkHeaderSpace:chunkDataEnd])
-		for err == nil && n < chunkDataEnd-chunkHeaderSpace && rest.Buffered() > 0 { // what has arrived goes in one write
+		// All that has arrived goes in one write.
+		for err == nil && n < chunkDataEnd-chunkHeaderSpace && rest.Buffered() > 0 {
 			var more int
 			more, err = rest.Read(buf[chunkHeaderSpace+n : chunkDataEnd])
 			n += more
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -11,50 +11,51 @@
 	"dunlinsail/internal/upstream"
 )
 
-// Routes are where a front sends requests of any form. They do not change; a front may be given others.
+// Routes say where a server forwards requests to. They are immutable once set (Server.SetRoutes).
 type Routes struct {
 	Table          *route.Table
-	Routes         []Route // by the table's places
+	Routes         []Route // in the order of Table
 	EncodedSlashes route.EncodedSlashes
 	ProxyName      string // this instance's name in Proxy-Status
 
-	// Decisive are the headers that some route goes by: like those that always are, they must be single and may not be
-	// named hop by hop.
+	// SingletonHeaders are the headers that some route reads a value from. Like http1msg.SingletonHeaders they may
+	// occur once at most, and Connection must not name them.
 	SingletonHeaders map[string]bool
 }
 
-// Route is what becomes of the requests that a pattern takes.
+// Route is how the requests that match a pattern are handled.
 type Route struct {
 	Name string
 	Pool *core.Pool
 
-	// Safe and Other are the classes of methods that are safe (RFC 9110 section 9.2.1) and of all others.
-	SafeClass, UnsafeClass uint8
-	// Rules and OtherRules go with them.
-	SafeRules, UnsafeRules *upstream.Rules
+	SafeClass   uint8           // class of requests with a safe method (RFC 9110 section 9.2.1)
+	UnsafeClass uint8           // class of all others
+	SafeRules   *upstream.Rules // rules for the responses of SafeClass
+	UnsafeRules *upstream.Rules // rules for the responses of UnsafeClass
 
 	Tenant         ValueSource
-	Object         ValueSource // what the request is about
-	IdempotencyKey ValueSource // must be there for keyed classes; it goes on to the endpoint in its header
-	RequestID      ValueSource // made where there is none; another request with an open one is turned away
-	Deadline       ValueSource // milliseconds that are left, within the class's give-up time
+	Object         ValueSource // what the request is about, for routing by object
+	IdempotencyKey ValueSource // required for classes with an idempotency key; forwarded in its header
+	RequestID      ValueSource // generated if missing; a second request with the ID of an open one is rejected
+	Deadline       ValueSource // milliseconds that are left; the class's client timeout is an upper bound
 
-	MaxAttempts   int           // attempts at most; 0 is as many as the instance allows
-	MaxBodyBytes  int64         // larger ones are turned away; 0 is no bound
-	BufferBytes   int64         // larger ones stream
-	StreamTimeout time.Duration // a body that streams, and the answer's beginning, within this
+	MaxAttempts   int           // 0 is as many as the instance allows
+	MaxBodyBytes  int64         // requests with larger bodies are rejected; 0 is no bound
+	BufferBytes   int64         // larger request bodies are streamed
+	StreamTimeout time.Duration // for a streamed body and the start of its response
 
-	HostOverride string // in place of the request's; "" leaves it
-	StripPrefix  string // of the path, in whole segments; the pattern has it
-	AddPrefix    string
+	HostOverride string // replaces the request's host; "" keeps it
+	StripPrefix  string // of the path, in complete segments; each matching path has it
+	AddPrefix    string // added to the path after StripPrefix is removed
 
 	ForwardedMode  ForwardedMode
 	TrustForwarded bool // what clients say of earlier hops is kept
 
-	RequestEdits, ResponseEdits HeaderEdits
+	RequestEdits  HeaderEdits
+	ResponseEdits HeaderEdits
 }
 
-// Edits are changes of headers, by canonical names. Removed ones go first.
+// HeaderEdits are changes of headers, by canonical names: first Remove, then Set, then Add.
 type HeaderEdits struct {
 	Remove []string
 	Set    map[string]string
@@ -73,37 +74,37 @@
 	}
 }
 
-// Forwarded says what endpoints are told of the client.
+// ForwardedMode says which headers name the client to endpoints.
 type ForwardedMode uint8
 
-// The ways to tell of the client.
+// The modes, in the order of the configuration's values.
 const (
-	ForwardedUnchanged ForwardedMode = iota // what clients say goes on
-	ForwardedNone                           // nothing
+	ForwardedUnchanged ForwardedMode = iota // those that the client sent
+	ForwardedNone                           // none
 	ForwardedXHeaders                       // X-Forwarded-For, -Host and -Proto
 	ForwardedStandard                       // Forwarded, RFC 7239
 )
 
-// SourceKind says where a figure of a request comes from.
+// SourceKind says where a value of a request is read from.
 type SourceKind uint8
 
 // The kinds of source.
 const (
 	NoSource SourceKind = iota
 	FromHeader
-	FromPathSegment // of the path
-	FromClientName  // the name of the client whose connection it is
+	FromPathSegment
+	FromClientName // Client.Name of the connection
 	FixedValue
 )
 
-// Source says where a figure of a request comes from.
+// ValueSource says where a value of a request is read from.
 type ValueSource struct {
 	Kind    SourceKind
-	Name    string // of the header, canonical; or the fixed value
-	Segment int
+	Name    string // canonical name of the header, or the fixed value
+	Segment int    // index of the path segment
 }
 
-// of returns what a source tells of a request, "" for nothing.
+// value returns the value that a request has, "" for none; path is its normalized path.
 func (s *ValueSource) value(c *conn, r *http.Request, path string) string {
 	switch s.Kind {
 	case FromHeader:
@@ -122,5 +123,5 @@
 	return ""
 }
 
-// SetRoutes has the front go by routes from now on; nil is PROTOCOL. Requests that have been routed keep their way.
+// SetRoutes has later requests routed by r; nil routes them by class. Requests that have been routed are not affected.
 func (s *Server) SetRoutes(r *Routes) { s.routes.Store(r) }
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -1,6 +1,8 @@
-// Package http1 is the HTTP/1.1 front: it takes clients' requests as PROTOCOL describes them, hands them to the
-// core, and gives each its one final answer. It decides nothing of where a request goes; conns.go keeps the
-// connections, whose number package decide/conns bounds.
+// Package http1 is the HTTP/1.1 server for clients: it accepts their connections, reads their requests (by class, as
+// PROTOCOL describes, or by configured routes), submits them to the core and writes exactly one final response to each.
+//
+// Which endpoint a request goes to is decided by packages core and engine, how many connections may be open by
+// decide/connlimit, and which route matches by decide/route; this package must not make such decisions.
 package http1
 
 import (
@@ -24,17 +26,22 @@
 	"dunlinsail/internal/upstream"
 )
 
-// heldRetryAfter is advised to a client that has as many bytes held as it may: an answer or two take that long.
+const readinessPath = "/-/ready"
+
+// byteLimitRetryAfter is the Retry-After for a client at its limit of buffered bytes: about the time of a response or
+// two.
 const byteLimitRetryAfter = 100 * time.Millisecond
 
-// HeaderMost is the most bytes that a request's head may have, and RequestTime how long a head may take to arrive whole, from
-// its first byte or the connection's beginning: clients may take 2 s (DAYS), and their last bytes travel for a while.
+// Limits of a request's head.
 const (
+	// MaxHeaderBytes is the largest size of a request's head.
 	MaxHeaderBytes = 16 << 10
+	// RequestTimeout is how long a head may take to arrive completely, from its first byte or from the start of the
+	// connection: clients may take 2 s (DAYS), and their last bytes are in transit for a while.
 	RequestTimeout = 2500 * time.Millisecond
 )
 
-// Options are what a Front needs.
+// Options are the dependencies and settings of a Server.
 type Options struct {
 	Clock  clock.Clock
 	Site   *siteconfig.Site
@@ -42,28 +49,29 @@
 	Limits connlimit.Limits // of the clients' connections
 	Log    *slog.Logger
 
-	Pool *core.Pool // to which all requests go, without routes
+	// Pool is the pool of all requests while there are no routes.
+	Pool *core.Pool
 
-	// SendWhole makes an attempt at an endpoint (upstream.Pool.SendWhole).
-	SendAttempt func(ctx context.Context, t *core.AttemptContext, q *upstream.Request) engine.AttemptResult
+	// SendAttempt makes an attempt of a request at an endpoint.
+	SendAttempt func(context.Context, *core.AttemptContext, *upstream.Request) engine.AttemptResult
 
-	// Record is told of each request that was taken, once it is over, from many goroutines; it must not wait. nil is
-	// nobody.
-	RecordExchange func(x *ExchangeRecord)
+	// RecordExchange is called once for each forwarded request that is over, concurrently. It must not block. nil
+	// records nothing.
+	RecordExchange func(*ExchangeRecord)
 }
 
-// Front takes clients' requests and gives their answers.
+// Server accepts clients' connections and serves the requests on them. Its methods may be called concurrently.
 type Server struct {
 	options          Options
 	conns            *connManager
 	closing          atomic.Bool
-	responseDeadline atomic.Int64           // requests have their answers by this instant; 0 is by their own only
-	routes           atomic.Pointer[Routes] // nil is PROTOCOL
+	responseDeadline atomic.Int64           // monotime.Micros; 0 for none beyond the requests' own deadlines
+	routes           atomic.Pointer[Routes] // nil: requests are routed by class
 	outcomes         outcomeCounter
-	classRoutes      []Route // of PROTOCOL's requests, by class
+	classRoutes      []Route // by class, for requests without routes
 }
 
-// New returns a front, or the error of limits that make no sense.
+// New returns a server, or an error if the limits of connections are invalid.
 func New(options Options) (*Server, error) {
 	s := &Server{options: options, outcomes: newOutcomeCounter(len(options.Site.Classes))}
 	s.classRoutes = s.newClassRoutes()
@@ -72,7 +80,7 @@
 	return s, err
 }
 
-// Conns returns how many connections there are, and how many of them have an open request.
+// ConnectionCounts returns how many connections there are, and how many of them have an open request.
 func (s *Server) ConnectionCounts() (all, busy int) {
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
@@ -84,57 +92,57 @@
 	return s.conns.accept(ln, identify)
 }
 
-// AcceptRest serves the connections that wait in ln's queue; Accept must have ended. What comes after it returns waits on.
+// AcceptQueued serves the connections that are in ln's queue. Accept must have returned before.
 func (s *Server) AcceptQueued(ln net.Listener, identify Identify) { s.conns.acceptQueued(ln, identify) }
 
 // Adopt serves a connection that another process has handed over.
-func (s *Server) Adopt(nc net.Conn, identify Identify) { s.conns.add(nc, identify) }
+func (s *Server) Adopt(netConn net.Conn, identify Identify) { s.conns.add(netConn, identify) }
 
-// Release hands connections over as soon as they rest, from now on: to is called for each, from many goroutines,
-// and says whether it has been taken; our own end of it is closed then. What is not taken goes on here. nil ends
-// that.
+// SetHandoff has each connection handed over to another process as soon as it is idle. handoff is called concurrently,
+// once for each, and reports whether the connection was taken: this process closes its end then, and serves it on
+// otherwise. nil ends the handing over.
 func (s *Server) SetHandoff(handoff func(net.Conn) bool) { s.conns.setHandoff(handoff) }
 
-// Quiesce has each answer from now on close its connection, and closes the connections without an open request.
-// It may be called again, for those that have come meanwhile.
+// Quiesce has each response from now on close its connection, and closes the connections without an open request. It
+// may be called again, for connections that were accepted since.
 func (s *Server) Quiesce() {
 	s.closing.Store(true)
 	s.conns.quiesce()
 }
 
-// GiveUpHalves closes the connections of whose request only a part has come, and returns how many.
+// ClosePartialRequests closes the connections on which only a part of a request has arrived, and returns how many.
 func (s *Server) ClosePartialRequests() int { return s.conns.closePartialRequests() }
 
-// EndBy has each request that is taken from now on answered by an instant: the process ends then, whatever is open.
+// SetResponseDeadline bounds the deadlines of requests from now on by the instant at which the process ends.
 func (s *Server) SetResponseDeadline(deadline monotime.Micros) { s.responseDeadline.Store(deadline) }
 
-// closes says whether an answer that is to be written now is the last on its connection. While all are to close, those whose
-// client has sent a next request, or begun to, are answered once more, as long as there is time for it: what came whole
-// must not be lost.
+// isLastResponse reports whether a response that is to be written now is the last on its connection. While the server
+// is closing, a client that has started to send a next request gets one more response, as long as there is time for it:
+// a complete request must not be lost.
 func (s *Server) isLastResponse(c *conn) bool {
 	if !s.closing.Load() {
 		return false
 	}
 	deadline := s.responseDeadline.Load()
-	c.input.setUnexamined(c.buffer != nil && c.buffer.Buffered() > 0) // what was read of the present request is no next one
+	c.input.setUnexamined(c.hasBuffered()) // bytes of the current request are not a next one
 	return c.input.isDrained() || deadline > 0 && s.options.Clock.Now() >= deadline
 }
 
-// Wait waits until no connection is served, or ctx ends.
+// WaitDrained returns nil once no connection is served, or the error of ctx once that ends.
 func (s *Server) WaitDrained(ctx context.Context) error { return s.conns.waitDrained(ctx) }
 
-// Cut closes all connections, those with open requests too.
+// CloseAll closes all connections, including those with open requests.
 func (s *Server) CloseAll() {
 	s.closing.Store(true)
 	s.conns.closeAll()
 }
 
-// talk serves a connection, one request at a time.
+// serveConn serves a connection, one request at a time.
 func (s *Server) serveConn(c *conn) {
 	deadline := time.Now().Add(RequestTimeout)
 	for s.conns.awaitRequest(c, deadline) {
 		if !deadline.IsZero() && !time.Now().Before(deadline) {
-			deadline = time.Time{} // its first byte came in time
+			deadline = time.Time{} // the first byte arrived in time
 		}
 		if !s.serveRequest(c, deadline) {
 			break
@@ -142,20 +150,21 @@
 		deadline = time.Time{}
 	}
 	if s.closing.Load() && !c.input.isDrained() {
-		c.linger() // more came as the last answer went
+		c.linger() // more arrived while the last response was written
 	}
 }
 
-// exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
-// gives its answer. It says whether the connection may serve another.
+// serveRequest reads one request, which must be complete by deadline or, if that is zero, within RequestTimeout, and
+// responds to it. It reports whether the connection may serve another.
 func (s *Server) serveRequest(c *conn, deadline time.Time) bool {
 	c.readLimit.N = MaxHeaderBytes
 	if deadline.IsZero() {
 		deadline = time.Now().Add(RequestTimeout)
 	}
-	if responseDeadline := s.responseDeadline.Load(); responseDeadline > 0 { // a request that is not whole by then has no time left
-		if processEnd := time.Now().Add(clock.Duration(responseDeadline - s.options.Clock.Now())); processEnd.Before(deadline) {
-			deadline = processEnd
+	if responseDeadline := s.responseDeadline.Load(); responseDeadline > 0 {
+		processEnd := time.Now().Add(clock.Duration(responseDeadline - s.options.Clock.Now()))
+		if processEnd.Before(deadline) {
+			deadline = processEnd // a request that is incomplete by then has no time left
 		}
 	}
 	c.SetReadDeadline(deadline)
@@ -171,13 +180,8 @@
 		}
 		return false
 	}
-	if req.URL.Path == "/-/ready" && req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
-		response := newLocalResponse(http.StatusOK, "ready")
-		if s.closing.Load() || !s.options.Core.Ready() {
-			response = newLocalResponse(http.StatusServiceUnavailable, "not ready")
-		}
-		closeAfter := req.Close || s.isLastResponse(c)
-		return s.conns.markBusy(c) && c.writeResponse(response, closeAfter) && s.conns.finishRequest(c) && !closeAfter
+	if req.URL.Path == readinessPath && req.ContentLength == 0 && len(req.TransferEncoding) == 0 {
+		return s.serveReadiness(c, req)
 	}
 	if routes != nil {
 		return s.serveByRoute(c, req, routes)
@@ -185,12 +189,23 @@
 	return s.serveByClass(c, req)
 }
 
-// visible says whether a header's value is plain text of some length.
+// serveReadiness responds to a readiness probe. It reports whether the connection may serve another request.
+func (s *Server) serveReadiness(c *conn, req *http.Request) bool {
+	response := newLocalResponse(http.StatusOK, "ready")
+	if s.closing.Load() || !s.options.Core.Ready() {
+		response = newLocalResponse(http.StatusServiceUnavailable, "not ready")
+	}
+	closeAfter := req.Close || s.isLastResponse(c)
+	return s.conns.markBusy(c) && c.writeResponse(response, closeAfter) && s.conns.finishRequest(c) && !closeAfter
+}
+
+// isVisibleASCII reports whether a header's value is not empty and consists of visible ASCII characters.
 func isVisibleASCII(v string) bool {
 	return v != "" && !strings.ContainsFunc(v, func(c rune) bool { return c <= ' ' || c > '~' })
 }
 
-// key turns what a request is about into a number; 0 is none.
+// objectKey returns the number that identifies an object: its value as a hexadecimal number, else its FNV-1a hash; 0
+// for none.
 func objectKey(object string) uint64 {
 	if object == "" {
 		return 0
