--- /dev/null
+++ b/internal/simulation/host.go
@@ -0,0 +1,96 @@
+package simulation
+
+import (
+	"fmt"
+	"strconv"
+
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
+)
+
+// target is an endpoint, as an instance knows it.
+type upstreamTarget struct{ endpoint *endpoint }
+
+// Drop does nothing: what is kept to an endpoint that has gone grows old.
+func (upstreamTarget) Drop() {}
+
+// Target finds an endpoint by its address, which is its place.
+func (in *instance) NewTarget(addr string) engine.Target {
+	place, err := strconv.Atoi(addr)
+	if err != nil {
+		panic(err) // it is what truth.member wrote
+	}
+	return upstreamTarget{in.run.endpoints[place]}
+}
+
+// Start starts an attempt.
+func (in *instance) StartAttempt(a *engine.Attempt) { newAttempt(in, a).start() }
+
+// Shut keeps in what has not gone out.
+func (in *instance) CancelUnsent(a *engine.Attempt) bool {
+	s, ok := a.HostData.(*attempt)
+	return !ok || s.cancelUnsent()
+}
+
+// Withdraw ends an attempt.
+func (in *instance) AbortAttempt(a *engine.Attempt) {
+	if s, ok := a.HostData.(*attempt); ok {
+		s.abort()
+	}
+}
+
+// Silent forgets kept connections that were last used before the attempt began.
+func (in *instance) AttemptTimedOut(a *engine.Attempt) {
+	s, ok := a.HostData.(*attempt)
+	if !ok {
+		return
+	}
+	all := in.idleUpstream[s.endpoint.index]
+	left := all[:0]
+	for _, k := range all {
+		if k.idleSince >= s.startedAt {
+			left = append(left, k)
+			continue
+		}
+		in.upstreamConns--
+		s.endpoint.disconnect(k.endpointIncarnation)
+	}
+	in.idleUpstream[s.endpoint.index] = left
+}
+
+// Probe asks an endpoint for its load.
+func (in *instance) StartProbe(p *engine.Pool, e *engine.Endpoint) { newProbe(in, e) }
+
+// Answer sends a client its answer.
+func (in *instance) Respond(c *engine.Call, a engine.Response) {
+	t := c.HostData.(*clientRequest)
+	r := in.run
+	t.response, t.responded = a, true
+	in.removeInFlight(t)
+	in.recordRequest(t, false)
+	if t.conn != nil {
+		if closed := in.connTable.MarkIdle(in.localTime(), t.conn); closed != nil {
+			in.forgetIdleClientConn(closed)
+		}
+		p := t.conn.Value.process
+		in.idleClientConns[p] = append(in.idleClientConns[p], t.conn)
+		t.conn = nil
+	}
+	r.events.push(r.now+r.network.clientDelay(t.operation.ID, t.Number, true)+in.overhead(), responseAtClient, 0, t)
+}
+
+// Ready needs no word to anybody.
+func (in *instance) EndpointReady() {}
+
+// Log tells what an instance logs.
+func (in *instance) Log(line string, args ...any) {
+	if in.run.options.Log != nil {
+		in.run.options.Log(in.run.now, in.index, fmt.Sprint(append([]any{line}, args...)...))
+	}
+}
+
+// Warn is as Log.
+func (in *instance) Warn(line string, args ...any) { in.Log(line, args...) }
+
+// overhead is what a request spends in the process on each side of its attempts.
+func (in *instance) overhead() monotime.Micros { return in.run.plan.Host.Overhead.Micros() / 2 }
--- /dev/null
+++ b/internal/simulation/measure/meter.go
@@ -0,0 +1,247 @@
+// Package measure judges a run as the users do: service is the worth answered within each class's aim over the worth asked
+// for, from the first second, with a client's retries counted as part of its first try; of the whole run, its worst ten
+// seconds, its worst class and its worst tenant within its share, weighed by the site's goal and less the site's prices. It
+// counts what cost and what broke beside that. It knows stories, and nothing of how they were played.
+package measure
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/simulation/simclient"
+)
+
+const second monotime.Micros = 1_000_000
+
+// Judge is by what a run is judged.
+type Criteria struct {
+	Classes         []balancer.Class  // in the order of the stories' classes
+	Tenants         []balancer.Tenant // in the order of the stories' tenants
+	OverQuotaWeight float64           // what a tenant's request beyond its allowance is worth
+	Goal            balancer.Goal
+	Prices          balancer.Prices
+	TenantLimits    map[string]float64 // of tenants, by name: requests a second that are let in over all instances; 0 is no limit
+}
+
+const (
+	worstWindowSeconds = 10 // seconds
+	maxBins            = 120
+)
+
+// Costs is what the stories of a run have cost, and what broke.
+type Costs struct {
+	ClientRequests int64   `json:"Tries"`    // requests that clients sent
+	Attempts       int64   `json:"Attempts"` // that instances sent on
+	CrossZone      int64   `json:"Cross"`    // of these, to another zone
+	Dials          int64   `json:"Dials"`    // new connections to endpoints
+	Probes         int64   `json:"Probes"`
+	OfferedWork    float64 `json:"Offered"`   // work of all stories, once each, in microseconds
+	ExecutedWork   float64 `json:"Worked"`    // by endpoints
+	UsefulWork     float64 `json:"Useful"`    // of this, for answers that clients took
+	Decisions      int64   `json:"Decisions"` // requests, outcomes, probes and timers that instances decided on
+
+	// Rules that were broken.
+	Collapses          int64 `json:"Falls"`      // endpoints pushed over while cold
+	AttemptsAfterDrain int64 `json:"Drained"`    // attempts that reached an endpoint past the grace after its instance knew that it drains
+	DuplicateEffects   int64 `json:"Twice"`      // stories that took effect more than once by their instances' doing
+	LateResponses      int64 `json:"LateAnswer"` // final answers that came after the client's deadline, or not at all
+
+	ClientDuplicateEffects int64 `json:"ClientsTwice"` // stories that took effect more than once by their clients' own tries
+	KilledInFlight         int64 `json:"KilledOpen"`   // tries that instances held when they were killed
+	FleetMessages          int64 `json:"Words"`        // that instances told one another
+}
+
+// Meter judges one run. Make one with New.
+type Meter struct {
+	criteria Criteria
+	end      monotime.Micros
+
+	binWidth      monotime.Micros
+	bins          []bin
+	allowances    []tokenBucket // of tenants' allowances
+	classes       []groupTotals
+	tenants       []groupTotals
+	seconds       []weightSum
+	quotaSpending quotaSpending
+	maintenance   map[string]float64
+	tenantDemand  map[int][]int // stories of each tenant that began in each second
+	total         weightSum
+	clients       map[[2]int]*clientTotals // by instance and process
+	lateFailures  float64                  // worth that was unserved when its aim had passed, and not given up before
+	outcomes      [simclient.OutcomeCount]int64
+	operations    int64
+	requests      struct{ refused, failed, lost int64 }
+	arrivals      arrivals
+	priorityAudit *priorityAudit
+	latencies     []*hdrhistogram.Histogram // of each class
+	digest        *xxhash.Digest
+
+	Costs Costs
+}
+
+type weightSum struct{ offered, earned float64 }
+
+type groupTotals struct{ weightSum }
+
+// client is what one client process asked for and got.
+type clientTotals struct {
+	weightSum
+	operations int64
+	latencies  []int32 // of those served, in tenths of a millisecond
+}
+
+type tokenBucket struct {
+	level     float64
+	updatedAt monotime.Micros
+}
+
+type bin struct {
+	weightSum
+	operations, served, late, unserved, rejectedRequests, failedRequests int64
+	latencies                                                            *hdrhistogram.Histogram
+	classes                                                              []weightSum
+	zones                                                                []weightSum
+}
+
+// New returns a meter of a run in which stories begin before an instant.
+func New(j Criteria, length monotime.Micros, zones int) *Meter {
+	m := &Meter{criteria: j, end: length, digest: xxhash.New(), clients: map[[2]int]*clientTotals{}}
+	m.binWidth = max(second, (length+maxBins-1)/maxBins)
+	m.binWidth = (m.binWidth + second - 1) / second * second
+	m.bins = make([]bin, (length+m.binWidth-1)/m.binWidth)
+	for i := range m.bins {
+		m.bins[i].latencies = hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 2)
+		m.bins[i].classes = make([]weightSum, len(j.Classes))
+		m.bins[i].zones = make([]weightSum, zones)
+	}
+	m.seconds = make([]weightSum, (length+second-1)/second)
+	m.arrivals = arrivals{seconds: make([]Second, len(m.seconds)), probes: make([][]uint32, len(m.seconds)), dials: make([][]uint32, len(m.seconds))}
+	m.classes, m.tenants = make([]groupTotals, len(j.Classes)), make([]groupTotals, len(j.Tenants))
+	m.allowances = make([]tokenBucket, len(j.Tenants))
+	for i := range m.allowances {
+		m.allowances[i].level = max(1, j.Tenants[i].Quota)
+	}
+	for range j.Classes {
+		m.latencies = append(m.latencies, hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 3))
+	}
+	return m
+}
+
+// Bin is how long the bins of the series are.
+func (m *Meter) Bin() monotime.Micros { return m.binWidth }
+
+// Worth is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
+func (m *Meter) Weight(s *simclient.Operation) (weight float64, within bool) {
+	weight = m.criteria.Classes[s.Class].PriorityWeight
+	if s.Tenant < 0 || s.Tenant >= len(m.allowances) || m.criteria.Tenants[s.Tenant].Quota <= 0 {
+		return weight, true
+	}
+	// A second's allowance may come at once.
+	b, rate := &m.allowances[s.Tenant], m.criteria.Tenants[s.Tenant].Quota
+	b.level = min(max(1, rate), b.level+rate*float64(s.StartedAt-b.updatedAt)/float64(second))
+	b.updatedAt = s.StartedAt
+	if b.level < 1 {
+		return weight * m.criteria.OverQuotaWeight, false
+	}
+	b.level--
+	return weight, true
+}
+
+// Done takes in a story that has ended, with what Worth returned of it as it began. zone is its instance's.
+func (m *Meter) OperationEnded(s *simclient.Operation, zone int, weight float64, within bool) {
+	c := &m.criteria.Classes[s.Class]
+	took := s.EndedAt - s.StartedAt
+	earned := 0.0
+	onTime := s.Outcome == simclient.Served && took <= c.LatencyObjective
+	if s.Outcome == simclient.Served {
+		earned = weight
+		if !onTime {
+			earned *= c.LateWeight
+		}
+		_ = m.latencies[s.Class].RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond))) // up to a minute, which the histogram holds
+	} else if took > c.LatencyObjective {
+		m.lateFailures += weight
+	}
+	m.operations++
+	m.outcomes[s.Outcome]++
+	if s.Tenant >= 0 {
+		if m.tenantDemand == nil {
+			m.tenantDemand = map[int][]int{}
+		}
+		if m.tenantDemand[s.Tenant] == nil {
+			m.tenantDemand[s.Tenant] = make([]int, len(m.seconds))
+		}
+		m.tenantDemand[s.Tenant][min(s.StartedAt/second, int64(len(m.seconds)-1))]++
+	}
+	m.priorityAudit.operationEnded(s, weight, onTime)
+	m.total.add(weight, earned)
+	m.classes[s.Class].add(weight, earned)
+	if within && s.Tenant >= 0 && s.Tenant < len(m.tenants) {
+		m.tenants[s.Tenant].add(weight, earned)
+	}
+	who := m.clients[[2]int{s.Instance, s.Process}]
+	if who == nil {
+		who = &clientTotals{}
+		m.clients[[2]int{s.Instance, s.Process}] = who
+	}
+	who.add(weight, earned)
+	who.operations++
+	if s.Outcome == simclient.Served {
+		who.latencies = append(who.latencies, int32(min(took/100, math.MaxInt32)))
+	}
+	m.seconds[min(s.StartedAt/second, int64(len(m.seconds)-1))].add(weight, earned)
+	b := &m.bins[min(s.StartedAt/m.binWidth, int64(len(m.bins)-1))]
+	b.add(weight, earned)
+	b.classes[s.Class].add(weight, earned)
+	if zone >= 0 && zone < len(b.zones) {
+		b.zones[zone].add(weight, earned)
+	}
+	b.operations++
+	switch {
+	case onTime:
+		b.served++
+	case s.Outcome == simclient.Served:
+		b.late++
+	default:
+		b.unserved++
+	}
+	if s.Outcome == simclient.Served {
+		_ = b.latencies.RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond))) // up to a minute, which the histogram holds
+	}
+	b.rejectedRequests += int64(s.Rejected)
+	b.failedRequests += int64(s.Failed + s.Unanswered)
+	m.requests.refused += int64(s.Rejected)
+	m.requests.failed += int64(s.Failed)
+	m.requests.lost += int64(s.Unanswered)
+	m.Costs.OfferedWork += float64(s.Work)
+	var text [64]byte
+	for i, v := range [...]uint64{s.ID, uint64(s.Outcome), uint64(s.EndedAt), uint64(s.Requests), uint64(s.Executions), uint64(s.Effects), uint64(s.Rejected), uint64(s.Failed)} {
+		binary.LittleEndian.PutUint64(text[8*i:], v)
+	}
+	m.digest.Write(text[:])
+}
+
+func (w *weightSum) add(offered, earned float64) {
+	w.offered += offered
+	w.earned += earned
+}
+
+// share is what was earned of what was asked, 1 where nothing was.
+func (w weightSum) share() float64 {
+	if w.offered <= 0 {
+		return 1
+	}
+	return w.earned / w.offered
+}
+
+// Labour tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
+// was at work, and how long all took; 0 is that not all are back.
+func (m *Meter) RecordMaintenance(requested, returned, sent int, took monotime.Micros) {
+	m.maintenance = map[string]float64{"work_sent": float64(sent), "work_left": float64(requested - returned), "work_took": float64(took) / float64(second)}
+}
--- /dev/null
+++ b/internal/simulation/measure/result.go
@@ -0,0 +1,217 @@
+package measure
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/simulation/simclient"
+)
+
+// Result is what a run came to.
+type Result struct {
+	Scenario string `json:"Scenario"`
+	Seed     uint64 `json:"Seed"`
+	Digest   string `json:"Digest"` // of all that became of all stories: runs that are the same have the same
+
+	Figures    map[string]float64 `json:"Figures"` // by the names in Figures
+	Costs      Costs              `json:"Costs"`
+	Operations int64              `json:"Stories"`
+	Served     int64              `json:"Served"` // within the aim or after it
+	Series     Series             `json:"Series"`
+	Endpoints  []EndpointLoad     `json:"Nodes"`
+	Classes    []ClassLatency     `json:"Classes"`
+	Seconds    []Second           `json:"Seconds"` // what came at endpoints
+	Elapsed    time.Duration      `json:"-"`       // of the computer, not of the run
+}
+
+// Series are lines over time, an entry for each Bin.
+type Series struct {
+	Bin      monotime.Micros `json:"Bin"`
+	Service  []float64       `json:"Service"`
+	Offered  []float64       `json:"Asked"` // stories a second
+	OnTime   []float64       `json:"Good"`  // served within the aim, a second
+	Late     []float64       `json:"Late"`
+	Unserved []float64       `json:"Lost"`    // unserved, a second
+	Rejected []float64       `json:"Refused"` // tries refused, a second
+	Failed   []float64       `json:"Failed"`  // tries failed or lost, a second
+	P50      []float64       `json:"P50"`     // milliseconds
+	P99      []float64       `json:"P99"`
+	Class    [][]float64     `json:"Class"` // service of each class
+	Zone     [][]float64     `json:"Zone"`  // and of the clients in each zone
+}
+
+// NodeLoad is what one endpoint had to do.
+type EndpointLoad struct {
+	Name        string  `json:"Name"`
+	Zone        int     `json:"Zone"`
+	Executions  int64   `json:"Runs"`
+	Utilization float64 `json:"Worked"`         // of its core time, 0 to 1
+	MaxInFlight int     `json:"Most"`           // requests held at once, at most
+	Arrivals    []int64 `json:"Line,omitempty"` // requests that came, in each bin of the series; nil where there are many endpoints
+}
+
+// ClassTimes is how long a class's stories took that were served: pairs of a part of them and milliseconds.
+type ClassLatency struct {
+	Name      string       `json:"Name"`
+	Count     int64        `json:"Count"`
+	Quantiles [][2]float64 `json:"Quantiles"`
+}
+
+var quantiles = []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100}
+
+// Result sums up.
+func (m *Meter) Result() *Result {
+	r := &Result{Figures: map[string]float64{}, Costs: m.Costs, Operations: m.operations, Served: m.outcomes[simclient.Served], Digest: hex(m.digest.Sum64())}
+	f, c, n := r.Figures, &m.Costs, math.Max(1, float64(m.operations))
+	f["whole"] = m.total.share()
+	f["worst_window"] = m.worstWindowShare()
+	f["worst_class"], f["worst_tenant"] = 1, 1
+	all := hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 3)
+	for i := range m.classes {
+		f["worst_class"] = min(f["worst_class"], m.classes[i].share())
+		name := m.criteria.Classes[i].Name
+		f["service."+name] = m.classes[i].share()
+		f["p50."+name], f["p99."+name] = quantileMS(m.latencies[i], 50), quantileMS(m.latencies[i], 99)
+		all.Merge(m.latencies[i])
+		t := ClassLatency{Name: name, Count: m.latencies[i].TotalCount()}
+		for _, q := range quantiles {
+			t.Quantiles = append(t.Quantiles, [2]float64{q, quantileMS(m.latencies[i], q)})
+		}
+		r.Classes = append(r.Classes, t)
+	}
+	for i := range m.tenants {
+		f["worst_tenant"] = min(f["worst_tenant"], m.tenants[i].share())
+		f["service."+m.criteria.Tenants[i].Name] = m.tenants[i].share()
+	}
+	f["modest"], f["p99_modest"] = m.modestClients()
+	f["p50"], f["p90"], f["p99"], f["p999"] = quantileMS(all, 50), quantileMS(all, 90), quantileMS(all, 99), quantileMS(all, 99.9)
+	f["served"] = float64(m.outcomes[simclient.Served]) / n
+	f["unserved"] = float64(m.outcomes[simclient.Unserved]) / n
+	f["tries"] = float64(c.ClientRequests) / n
+	f["attempts"] = float64(c.Attempts) / n
+	f["refused"] = float64(m.requests.refused) / math.Max(1, float64(c.ClientRequests))
+	f["failed"] = float64(m.requests.failed) / math.Max(1, float64(c.ClientRequests))
+	f["lost"] = float64(m.requests.lost) / math.Max(1, float64(c.ClientRequests))
+	f["cross_zone"] = float64(c.CrossZone) / n
+	f["probes"] = float64(c.Probes) / n
+	f["dials"] = float64(c.Dials) / n
+	f["waste"] = max(0, c.ExecutedWork-c.UsefulWork) / math.Max(1, c.OfferedWork)
+	f["late_fail"] = m.lateFailures / math.Max(1e-9, m.total.offered)
+	m.arrivals.figures(f, m.seconds)
+	m.priorityAudit.figures(f, m.total.earned)
+	m.quotaSpending.figures(f, &m.criteria, m.tenantDemand)
+	f["words"] = float64(c.FleetMessages) / n
+	f["work_sent"], f["work_left"], f["work_took"] = 0, 0, 0
+	for name, v := range m.maintenance {
+		f[name] = v
+	}
+	f["breaks"] = float64(c.Collapses + c.AttemptsAfterDrain + c.DuplicateEffects + c.LateResponses)
+	g, p := &m.criteria.Goal, &m.criteria.Prices
+	weights := g.Overall + g.WorstWindow + g.WorstClass + g.WorstTenant
+	if weights <= 0 {
+		f["service"] = f["whole"]
+	} else {
+		f["service"] = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] + g.WorstTenant*f["worst_tenant"]) / weights
+	}
+	f["service"] -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
+	r.Series, r.Seconds = m.series(), m.arrivals.seconds
+	return r
+}
+
+// modestPart is how many times as much as the median client of its instance one may ask for and still be modest.
+const modestFactor = 2
+
+// modest is what those clients got that ask for no more than others: their service, and the time in milliseconds within
+// which 99 in 100 of their answers came.
+func (m *Meter) modestClients() (service, p99 float64) {
+	// In order, since sums of fractions depend on it.
+	order := slices.SortedFunc(maps.Keys(m.clients), func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
+	var all weightSum
+	var took []int32
+	for len(order) > 0 {
+		n := 1
+		for n < len(order) && order[n][0] == order[0][0] {
+			n++
+		}
+		var counts []int64
+		for _, who := range order[:n] {
+			counts = append(counts, m.clients[who].operations)
+		}
+		slices.Sort(counts)
+		for _, who := range order[:n] {
+			if c := m.clients[who]; c.operations <= modestFactor*counts[n/2] {
+				all.add(c.weightSum.offered, c.earned)
+				took = append(took, c.latencies...)
+			}
+		}
+		order = order[n:]
+	}
+	if len(took) == 0 {
+		return all.share(), 0
+	}
+	slices.Sort(took)
+	return all.share(), float64(took[min(len(took)-1, len(took)*99/100)]) / 10
+}
+
+func hex(v uint64) string {
+	const digits = "0123456789abcdef"
+	var b [16]byte
+	for i := range b {
+		b[i] = digits[v>>(60-4*i)&15]
+	}
+	return string(b[:])
+}
+
+func quantileMS(h *hdrhistogram.Histogram, q float64) float64 {
+	if h.TotalCount() == 0 {
+		return 0
+	}
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// worst is the least share over any ten seconds that begin with a second, or over all where there are fewer.
+func (m *Meter) worstWindowShare() float64 {
+	worst := 1.0
+	var in weightSum
+	for i := range m.seconds {
+		in.add(m.seconds[i].offered, m.seconds[i].earned)
+		if i >= worstWindowSeconds {
+			in.add(-m.seconds[i-worstWindowSeconds].offered, -m.seconds[i-worstWindowSeconds].earned)
+		}
+		if (i >= worstWindowSeconds-1 || i == len(m.seconds)-1) && in.offered > 1e-6 {
+			worst = min(worst, in.share())
+		}
+	}
+	return worst
+}
+
+func (m *Meter) series() Series {
+	s := Series{Bin: m.binWidth, Class: make([][]float64, len(m.classes))}
+	per := float64(m.binWidth) / float64(second)
+	for i := range m.bins {
+		b := &m.bins[i]
+		s.Service = append(s.Service, b.share())
+		s.Offered = append(s.Offered, float64(b.operations)/per)
+		s.OnTime = append(s.OnTime, float64(b.served)/per)
+		s.Late = append(s.Late, float64(b.late)/per)
+		s.Unserved = append(s.Unserved, float64(b.unserved)/per)
+		s.Rejected = append(s.Rejected, float64(b.rejectedRequests)/per)
+		s.Failed = append(s.Failed, float64(b.failedRequests)/per)
+		s.P50, s.P99 = append(s.P50, quantileMS(b.latencies, 50)), append(s.P99, quantileMS(b.latencies, 99))
+		for j := range b.classes {
+			s.Class[j] = append(s.Class[j], b.classes[j].share())
+		}
+		if s.Zone == nil {
+			s.Zone = make([][]float64, len(b.zones))
+		}
+		for j := range b.zones {
+			s.Zone[j] = append(s.Zone[j], b.zones[j].share())
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/simulation/operation.go
@@ -0,0 +1,165 @@
+package simulation
+
+import (
+	"math/rand/v2"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/simulation/simclient"
+)
+
+// story is a client's, with what the run needs of it.
+type operation struct {
+	simclient.Operation
+	run         *run
+	class       *balancer.Class // the judge's
+	weight      float64
+	withinQuota bool
+	ended       bool
+	current     *clientRequest // the present one
+}
+
+// nextStory schedules the next story of an instance.
+func (r *run) scheduleNextOperation(in *instance) {
+	if in.operations == nil {
+		in.operations = r.plan.Operations(in.index)
+		r.instancesWithArrivals++
+	}
+	s, ok := in.operations()
+	if !ok {
+		r.instancesWithArrivals--
+		return
+	}
+	in.nextOperation = s
+	r.events.push(s.StartedAt, operationArrives, uint32(in.index), nil)
+}
+
+// draws are what a client leaves to chance at a try.
+func (r *run) clientDraws(s *simclient.Operation, try int) *rand.Rand {
+	return r.clientRand.For(s.ID, uint64(try))
+}
+
+func (r *run) startOperation(in *instance) {
+	s := &operation{Operation: in.nextOperation, run: r}
+	r.scheduleNextOperation(in)
+	s.Class = r.criteriaClass[s.Class]
+	if s.Tenant >= 0 {
+		s.Tenant = r.criteriaTenant[s.Tenant]
+	}
+	s.class = &r.options.Criteria.Classes[s.Class]
+	if s.class.Idempotency != balancer.IdempotentByKey {
+		s.IdempotencyKey = 0
+	}
+	s.DiscardsResponse = r.settings.KnownHarm > 0 && r.faultRand.For(s.ID, ^uint64(0)).Float64() < r.settings.KnownHarm
+	r.pendingOperations++
+	s.weight, s.withinQuota = r.meter.Weight(&s.Operation)
+	s.send(s.Start(r.now, &r.behavior, s.class, r.clientDraws(&s.Operation, 0)))
+}
+
+func (r *run) retryOperation(s *operation) {
+	if !s.ended {
+		s.send(s.Retry(r.now, &r.behavior, s.class, r.clientDraws(&s.Operation, 2*s.Requests)))
+	}
+}
+
+// ask sends a try to its instance.
+func (s *operation) send(t simclient.Request) {
+	r := s.run
+	r.meter.Costs.ClientRequests++
+	x := &clientRequest{Request: t, operation: s, instance: r.instances[s.Instance], sentAt: r.now}
+	s.current = x
+	r.trace(x, -1, "", "asks")
+	r.events.push(r.now+r.network.clientDelay(s.ID, t.Number, false), requestAtInstance, 0, x)
+	if t.AbortAt > 0 {
+		r.events.push(t.AbortAt, clientTimeout, 0, x)
+	}
+	r.events.push(t.Deadline, clientTimeout, 0, x)
+}
+
+// try is one request of a client.
+type clientRequest struct {
+	simclient.Request
+	operation     *operation
+	instance      *instance
+	sentAt        monotime.Micros
+	done          bool // for the client
+	incarnation   uint32
+	call          engine.Call
+	conn          *connlimit.Conn[*clientConn]
+	response      engine.Response
+	responded     bool // the instance has answered
+	submitted     bool // by the engine
+	inFlightIndex int  // among its instance's open ones
+	effects       int  // of its attempts
+}
+
+// answered takes the instance's answer to the client.
+func (t *clientRequest) responseArrived() {
+	r := t.operation.run
+	if t.done {
+		return
+	}
+	switch t.response.Verdict {
+	case engine.Served:
+		if s, ok := t.response.Result.Response.(*attempt); ok {
+			r.meter.Costs.UsefulWork += float64(s.job.Work)
+		}
+		t.end(simclient.OK, 0)
+	case engine.Rejected, engine.RateLimited:
+		t.end(simclient.Rejected, t.response.RetryAfter)
+	default:
+		t.end(simclient.Failed, 0)
+	}
+}
+
+// leave has the client go if it still waits.
+func (t *clientRequest) clientLeaves() {
+	if t.done {
+		return
+	}
+	r := t.operation.run
+	if r.now >= t.Deadline && t.submitted && t.incarnation == t.instance.incarnation && !t.responded && t.instance.frozenUntil < t.sentAt {
+		r.meter.Costs.LateResponses++ // a running instance that took it owed an answer by now
+	}
+	r.trace(t, -1, "", "leaves")
+	if t.submitted && t.incarnation == t.instance.incarnation && !t.instance.down {
+		if t.instance.frozenUntil > r.now {
+			r.events.push(t.instance.frozenUntil, clientGoneNoticed, 0, t)
+		} else {
+			t.instance.clientGone(t)
+		}
+	}
+	t.end(simclient.NoResponse, 0)
+}
+
+// over ends the try for its client.
+func (t *clientRequest) end(v simclient.RequestOutcome, retryAfter monotime.Micros) {
+	if t.done {
+		return
+	}
+	t.done = true
+	s, r := t.operation, t.operation.run
+	if r.options.Trace != nil {
+		r.trace(t, -1, "", [...]string{"is served", "is refused", "is failed", "has no answer"}[v])
+	}
+	if s.ended {
+		return
+	}
+	at, again := s.RequestEnded(r.now, t.Number, v, retryAfter, s.class, r.clientDraws(&s.Operation, 2*t.Number+1))
+	switch {
+	case again:
+		r.events.push(at, requestRetried, 0, s)
+	case s.Outcome != simclient.Pending:
+		s.ended = true
+		r.pendingOperations--
+		r.meter.OperationEnded(&s.Operation, t.instance.zone, s.weight, s.withinQuota)
+	}
+}
+
+func (r *run) trace(t *clientRequest, attempt int, node, what string) {
+	if r.options.Trace != nil {
+		r.options.Trace(Trace{At: r.now, Operation: t.operation.ID, Request: t.Number, Instance: t.instance.index, Attempt: attempt, Endpoint: node, Step: what})
+	}
+}
--- /dev/null
+++ b/internal/simulation/probe.go
@@ -0,0 +1,81 @@
+package simulation
+
+import (
+	"dunlinsail/balancer"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/simulation/measure"
+)
+
+// probeTime is how long a probe is waited for.
+const probeTimeout = second / 4
+
+// probe is one that is out.
+type probe struct {
+	instance       *instance
+	engineEndpoint *engine.Endpoint
+	endpoint       *endpoint
+	pool           *engine.Pool
+	incarnation    uint32
+	number         uint64
+	sentAt         monotime.Micros // the instance's clock
+	reply          engine.AttemptResult
+}
+
+func newProbe(in *instance, e *engine.Endpoint) {
+	r := in.run
+	in.probes++
+	p := &probe{instance: in, engineEndpoint: e, endpoint: e.Target.(upstreamTarget).endpoint, pool: in.pool, incarnation: in.incarnation, number: in.probes, sentAt: in.localTime()}
+	if p.endpoint.unreachable || r.dialBlocked(in, p.endpoint) {
+		p.reply.Status = balancer.Timeout
+		r.events.push(r.now+probeTimeout, probeReplied, 0, p)
+		return
+	}
+	r.events.push(r.now+in.overhead()+p.delay(0), probeAtEndpoint, 0, p)
+}
+
+func (p *probe) delay(what uint64) monotime.Micros {
+	r := p.instance.run
+	return r.network.endpointDelay(p.instance.zone, p.endpoint.zone(), uint64(p.instance.index)|1<<63, p.number, what) + r.plan.ExtraDelay(r.now, p.instance.index, p.endpoint.index)
+}
+
+func (p *probe) arriveAtEndpoint() {
+	r := p.instance.run
+	switch {
+	case !p.endpoint.model.Up():
+		p.reply.Status = balancer.ConnectFailed
+	default:
+		r.meter.RecordArrival(r.now, p.endpoint.index, measure.ProbeArrival)
+		r.meter.Costs.Probes++ // those that reach an endpoint, as that counts them
+		load := p.endpoint.model.Probe(r.now, r.reportRand.For(uint64(p.instance.index), p.number))
+		for _, f := range p.instance.site.Settings.LoadMetrics {
+			var v float64
+			switch f {
+			case balancer.MetricInflight:
+				v = load.Inflight
+			case balancer.MetricQueueLength:
+				v = load.Queue
+			case balancer.MetricUtilization:
+				v = load.Util
+			case balancer.MetricLatency:
+				v = load.LatencyMS
+			case balancer.MetricServedRate:
+				v = load.Served
+			case balancer.MetricErrorRate:
+				v = load.Errors
+			}
+			p.reply.Load = append(p.reply.Load, float32(v))
+		}
+	}
+	r.events.push(r.now+p.delay(1)+p.instance.overhead(), probeReplied, 0, p)
+}
+
+func (p *probe) replyArrived() {
+	if p.incarnation != p.instance.incarnation || p.instance.down {
+		return
+	}
+	p.reply.ObservedAt = p.instance.localTime()
+	p.instance.run.meter.Costs.Decisions++
+	p.instance.engine.ProbeEnded(p.instance.localTime(), p.pool, p.engineEndpoint, p.sentAt, p.reply)
+	p.instance.advanceEngine()
+}
--- /dev/null
+++ b/internal/simulation/request.go
@@ -0,0 +1,107 @@
+package simulation
+
+import (
+	"fmt"
+	"math"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/siteconfig"
+)
+
+// submit hands a try's request to the instance, once it is whole there.
+func (t *clientRequest) submit() {
+	in, r, s := t.instance, t.operation.run, t.operation
+	if t.done {
+		return // its client has left already
+	}
+	if in.down || !in.acceptConn(t) {
+		r.events.push(r.now+r.network.clientDelay(s.ID, t.Number, true), connRejected, 0, t)
+		return
+	}
+	t.incarnation, t.submitted = in.incarnation, true
+	t.inFlightIndex = len(in.inFlight)
+	in.inFlight = append(in.inFlight, t)
+	now := in.localTime()
+	tenant := uint16(math.MaxUint16)
+	if s.Tenant >= 0 {
+		tenant = uint16(r.settingsTenant[s.Tenant])
+	}
+	// What is told is how long the client waits from when it sent the request; the way here is not known.
+	t.call = engine.Call{Client: in.clients[s.Process], Pool: in.pool, ID: fmt.Sprintf("%x-%d", s.ID, t.Number), ArrivedAt: now, HostData: t,
+		Request: balancer.Request{Class: uint8(r.settingsClass[s.Class]), Tenant: tenant, Retry: t.Retry, IdempotencyKey: s.Object, Write: s.class.Idempotency != balancer.Idempotent,
+			Deadline: now + (t.Deadline-t.sentAt)/1000*1000 - siteconfig.ResponseMargin.Microseconds()}}
+	r.meter.Costs.Decisions++
+	in.engine.Submit(now, &t.call)
+	in.advanceEngine()
+}
+
+// connect finds a connection for a try, or opens one, and says whether there is one.
+func (in *instance) acceptConn(t *clientRequest) bool {
+	now := in.localTime()
+	p := t.operation.Process
+	for {
+		c, _ := in.connTable.RemoveExpired(now)
+		if c == nil {
+			break
+		}
+		in.forgetIdleClientConn(c)
+	}
+	if rest := in.idleClientConns[p]; len(rest) > 0 {
+		t.conn = rest[len(rest)-1]
+		in.idleClientConns[p] = rest[:len(rest)-1]
+	} else {
+		c, closed := in.connTable.Add(now, in.owners[p], &clientConn{p})
+		if closed != nil {
+			in.forgetIdleClientConn(closed)
+		}
+		if c == nil {
+			return false
+		}
+		t.conn = c
+	}
+	return in.connTable.MarkBusy(t.conn)
+}
+
+// drop forgets a client's connection that was closed at rest.
+func (in *instance) forgetIdleClientConn(c *connlimit.Conn[*clientConn]) {
+	rest := in.idleClientConns[c.Value.process]
+	for i := range rest {
+		if rest[i] == c {
+			in.idleClientConns[c.Value.process] = append(rest[:i], rest[i+1:]...)
+			return
+		}
+	}
+}
+
+// close takes a try out of those that are open.
+func (in *instance) removeInFlight(t *clientRequest) {
+	last := len(in.inFlight) - 1
+	in.inFlight[t.inFlightIndex] = in.inFlight[last]
+	in.inFlight[t.inFlightIndex].inFlightIndex = t.inFlightIndex
+	in.inFlight[last] = nil
+	in.inFlight = in.inFlight[:last]
+}
+
+// record tells of a request that is over.
+func (in *instance) recordRequest(t *clientRequest, left bool) {
+	tell := in.run.options.Record
+	if tell == nil {
+		return
+	}
+	s, arrived := t.operation, t.call.ArrivedAt
+	tell(&RequestRecord{Instance: in.index, Process: s.Process, Operation: s.ID, Class: s.Class, Tenant: s.Tenant, IdempotencyKey: t.IdempotencyKey, Object: s.Object, Retry: t.Retry, Arrived: arrived,
+		Duration: in.localTime() - arrived, Timeout: t.call.Request.Deadline - arrived, ClientGone: left, Response: t.response})
+}
+
+// left tells the engine that a client has gone.
+func (in *instance) clientGone(t *clientRequest) {
+	if !t.responded {
+		in.removeInFlight(t)
+		in.connTable.Remove(t.conn)
+		in.recordRequest(t, true)
+	}
+	in.engine.ClientGone(in.localTime(), &t.call)
+	in.advanceEngine()
+}
--- /dev/null
+++ b/internal/simulation/scenario/parse.go
@@ -0,0 +1,162 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dunlinsail/internal/stricttoml"
+)
+
+// span returns a span, or nil where it is zero: a file need not give one.
+func span(from, to time.Duration) *stricttoml.Span { return &stricttoml.Span{From: from, To: to} }
+
+func length(d time.Duration) stricttoml.Duration { return stricttoml.Duration{Duration: d} }
+
+// defaults are what a file that says nothing means: a small calm site.
+func defaults() Scenario {
+	return Scenario{
+		Length:  length(30 * time.Second),
+		Fleet:   Fleet{Instances: 3},
+		Network: Network{Client: length(70 * time.Microsecond), Within: length(250 * time.Microsecond), Between: length(time.Millisecond), Jitter: 0.2, Retransmit: length(200 * time.Millisecond)},
+		Host:    Host{Overhead: length(100 * time.Microsecond), Slack: length(50 * time.Microsecond)},
+		Discovery: Discovery{Add: span(500*time.Millisecond, 2*time.Second), Drain: span(100*time.Millisecond, 500*time.Millisecond),
+			Gone: span(2*time.Second, 5*time.Second), Silent: span(5*time.Second, 10*time.Second), Spread: length(100 * time.Millisecond)},
+		Clients: Clients{Processes: 4, Retries: [2]int{1, 2}, TimeoutShare: Range{0.5, 0.8}, Backoff: span(10*time.Millisecond, 80*time.Millisecond),
+			HonorRetryAfter: 0.9, Objects: 10_000},
+	}
+}
+
+// ByProcesses says whether what the scenario claims is of something that the model does not play.
+func (s *Scenario) ByProcesses() bool {
+	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == "work" })
+}
+
+// Finder returns the text of a scenario that another is based on, by its name.
+type Finder func(name string) ([]byte, error)
+
+// Parse checks a file's text. Its error is strict.Errors, or what find returns of the scenario that it is based on.
+func Parse(text []byte, find Finder) (*Scenario, error) {
+	s := defaults()
+	if err := s.overlay(text, find, 0); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// basesMost bounds how many scenarios may be based on one another.
+const maxBases = 4
+
+// overlay reads a text over what is known already, and checks the whole.
+func (s *Scenario) overlay(text []byte, find Finder, depth int) error {
+	var own Scenario
+	lines, err := stricttoml.Decode(text, &own)
+	if err != nil {
+		return err
+	}
+	k := &stricttoml.Validation{Lines: lines}
+	if own.Base != "" {
+		k.Require(depth < maxBases, "base", "more than %d scenarios are based on one another", maxBases)
+		if err := k.Err(); err != nil {
+			return err
+		}
+		base, err := find(own.Base)
+		if err != nil {
+			k.Require(false, "base", "%v", err)
+			return k.Err()
+		}
+		if err := s.overlay(base, find, depth+1); err != nil {
+			return fmt.Errorf("scenario %q: %w", own.Base, err)
+		}
+		s.About, s.Expect = "", nil // these are of the one that says them
+	}
+	// A list that stands here stands in place of the base's.
+	for _, list := range []struct {
+		key   string
+		clear func()
+	}{{"nodes", func() { s.EndpointKinds = nil }}, {"class", func() { s.Classes = nil }}, {"tenant", func() { s.Tenants = nil }},
+		{"shape", func() { s.Shape = nil }}, {"event", func() { s.Events = nil }}, {"fleet.zones", func() { s.Fleet.Zones = nil }}} {
+		if lines[list.key] > 0 || lines[list.key+".0"] > 0 {
+			list.clear()
+		}
+	}
+	// Of load and rate the one that stands here holds.
+	if own.Clients.Load > 0 {
+		s.Clients.Rate = 0
+	} else if own.Clients.Rate > 0 {
+		s.Clients.Load = 0
+	}
+	if _, err := stricttoml.Decode(text, s); err != nil {
+		return err
+	}
+	for i := range s.EndpointKinds {
+		s.EndpointKinds[i].setDefaults()
+	}
+	for i := range s.Classes {
+		if c := &s.Classes[i]; c.Dist == "" {
+			c.Dist = "lognormal"
+		}
+	}
+	s.check(k)
+	s.Base = ""
+	return k.Err()
+}
+
+// Text returns the scenario as a file that says all of it.
+func (s *Scenario) Text() ([]byte, error) {
+	var b bytes.Buffer
+	e := toml.NewEncoder(&b)
+	if err := e.Encode(s); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	return b.Bytes(), nil
+}
+
+// Clone returns a copy that shares nothing with s.
+func (s *Scenario) Clone() *Scenario {
+	c := *s
+	c.Fleet.Zones = slices.Clone(s.Fleet.Zones)
+	c.EndpointKinds, c.Classes, c.Tenants = slices.Clone(s.EndpointKinds), slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	for _, at := range []**stricttoml.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain, &c.Discovery.Gone, &c.Discovery.Silent} {
+		own := **at
+		*at = &own
+	}
+	c.Shape, c.Events, c.Expect = slices.Clone(s.Shape), slices.Clone(s.Events), slices.Clone(s.Expect)
+	c.Settings = slices.Clone(s.Settings)
+	for i := range c.Events {
+		e := &c.Events[i]
+		e.Part, e.Size, e.Instances = slices.Clone(e.Part), slices.Clone(e.Size), slices.Clone(e.Instances)
+		for _, at := range []**stricttoml.Span{&e.At, &e.For, &e.Delay} {
+			if *at != nil {
+				own := **at
+				*at = &own
+			}
+		}
+	}
+	return &c
+}
+
+// fill sets what a kind of endpoints is where its table says nothing.
+func (n *EndpointKind) setDefaults() {
+	if n.Cores == 0 {
+		n.Cores = 2
+	}
+	if len(n.Speed) == 0 {
+		n.Speed = Range{1}
+	}
+	if n.WarmupFrom == 0 {
+		n.WarmupFrom = 0.2
+	}
+	if n.Cancel == "" {
+		n.Cancel = "queued"
+	}
+	if n.Cell == 0 {
+		n.Cell = 4
+	}
+	if n.Idle.Duration == 0 {
+		n.Idle = length(15 * time.Second)
+	}
+}
--- a/internal/simulation/simendpoint/node.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -5,7 +5,6 @@
 package simendpoint
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -15,50 +14,6 @@
 
 const second monotime.Micros = 1_000_000
 
-// Cancel says what becomes of a request whose sender has given it up.
-type Cancellation uint8
-
-// What it may be.
-const (
-	CancelNone   Cancellation = iota // it runs all the same
-	CancelQueued                     // it is dropped while it waits
-	CancelAll                        // it is dropped, at work too
-)
-
-// Config is what an endpoint is.
-type Config struct {
-	Cores               int             // requests worked at side by side
-	Speed               float64         // of a core, where 1 does a microsecond's work in a microsecond
-	QueueCapacity       int             // requests that may wait
-	WarmupFrom          float64         // the part of its speed that it starts with, 1 for all of it,
-	WarmupDuration      monotime.Micros // and after so long it has all of it
-	CollapseLoad        float64         // sent more than so many times what it can do, while cold,
-	CollapseWindow      monotime.Micros // within so long, it falls over; 0 is never
-	Cancellation        Cancellation
-	ErrorRate           float64         // part of its requests that fail
-	ContentionThreshold float64         // requests held for each core beyond which
-	ContentionLoss      float64         // it loses this part of its speed; 0 is never
-	ProbeWork           monotime.Micros // what a probe costs it
-	HandshakeWork       monotime.Micros // what a new connection costs it
-	MaxConnections      int             // connections that it holds; 0 is no bound
-	ReportInterval      monotime.Micros // its figures are made anew so often; 0 is at each look
-	ReportNoise         float64         // of its figures
-}
-
-// Condition is what goes wrong at an endpoint for a while. The zero value is nothing.
-type Condition struct {
-	Slowdown       float64 // times as long; 0 is 1
-	StolenShare    float64 // part of the machine that another program takes
-	ErrorRate      float64 // part of the requests that fail at once, without having run,
-	Class          int     // of this class only, where Part is set
-	OneClass       bool
-	UnansweredRate float64         // part of the requests that are never answered
-	RejectRate     float64         // part of the requests that it turns away unseen, although it has room
-	FalseReports   bool            // its reports say that it holds nothing
-	InvalidReports bool            // its reports say nothing, or what cannot be
-	ReportDelay    monotime.Micros // its reports are older by this
-}
-
 // Job is a request at an endpoint.
 type Job struct {
 	Class          int
@@ -102,40 +57,6 @@
 	Effect  bool // it took effect: it was no repeat that the endpoint knew. What fails after its work has, too
 }
 
-// Group is a set of endpoints that share which keys they have seen.
-type DedupGroup struct {
-	window    monotime.Micros
-	firstSeen map[uint64]monotime.Micros // keys, by when each was first taken
-	order     []uint64                   // the oldest first
-}
-
-// NewGroup returns a group that drops a key's repeats for so long.
-func NewDedupGroup(window monotime.Micros) *DedupGroup {
-	return &DedupGroup{window: window, firstSeen: map[uint64]monotime.Micros{}}
-}
-
-// repeat says whether a key is known, and notes it.
-func (g *DedupGroup) seenBefore(now monotime.Micros, key uint64) bool {
-	for len(g.order) > 0 && now-g.firstSeen[g.order[0]] >= g.window {
-		delete(g.firstSeen, g.order[0])
-		g.order = g.order[1:]
-	}
-	if _, known := g.firstSeen[key]; known {
-		return true
-	}
-	g.firstSeen[key] = now
-	g.order = append(g.order, key)
-	return false
-}
-
-// forget takes back that a key was seen: what was seen of it never ran.
-func (g *DedupGroup) forget(key uint64) {
-	if _, known := g.firstSeen[key]; known {
-		delete(g.firstSeen, key)
-		g.order = slices.DeleteFunc(g.order, func(k uint64) bool { return k == key })
-	}
-}
-
 // Node is an endpoint. Make one with New, and start it.
 type Endpoint struct {
 	config     Config
@@ -163,30 +84,6 @@
 	report      loadReporter
 }
 
-// figures are what reports are made of.
-type loadReporter struct {
-	reportedAt  monotime.Micros
-	current     Load
-	windowStart monotime.Micros // of the present second
-	served      int
-	errors      int
-	coreTime    monotime.Micros // core time in the present second
-	reported    Load
-	history     []timedLoad // for reports that come late
-}
-
-type timedLoad struct {
-	at   monotime.Micros
-	load Load
-}
-
-// Load is a report of an endpoint's load.
-type Load struct {
-	Inflight, Queue, Util float64
-	LatencyMS             float64 // service time without waiting
-	Served, Errors        float64 // a second
-}
-
 // New returns an endpoint that is down. group is that of its keys, and may be nil.
 func New(c Config, group *DedupGroup) *Endpoint {
 	return &Endpoint{config: c, dedupGroup: group, cores: make([]*Job, max(1, c.Cores))}
@@ -452,50 +349,6 @@
 	}
 }
 
-// Probe returns what a probe is told. It costs the endpoint a little.
-func (n *Endpoint) Probe(now monotime.Micros, r *rand.Rand) Load {
-	n.pendingOverhead += n.config.ProbeWork
-	f := &n.report
-	if now-f.windowStart >= second {
-		f.current.Served = float64(f.served) * float64(second) / float64(now-f.windowStart)
-		f.current.Errors = float64(f.errors) * float64(second) / float64(now-f.windowStart)
-		f.current.Util = min(1, float64(f.coreTime)/float64(now-f.windowStart)/float64(len(n.cores)))
-		f.windowStart, f.served, f.errors, f.coreTime = now, 0, 0, 0
-	}
-	if f.reportedAt == 0 || now-f.reportedAt >= n.config.ReportInterval {
-		f.reportedAt = now
-		f.current.Inflight, f.current.Queue = float64(n.InFlight()), float64(len(n.queue))
-		f.reported = f.current
-		if n.config.ReportNoise > 0 {
-			f.reported.Inflight = max(0, f.reported.Inflight*(1+n.config.ReportNoise*r.NormFloat64()))
-			f.reported.Util = max(0, f.reported.Util*(1+n.config.ReportNoise*r.NormFloat64()))
-		}
-		f.history = append(f.history, timedLoad{now, f.reported})
-		for len(f.history) > 2 && now-f.history[1].at > 10*second {
-			f.history = f.history[1:]
-		}
-	}
-	switch {
-	case n.condition.FalseReports:
-		return Load{}
-	case n.condition.InvalidReports && r.Float64() < 0.5:
-		nothing := math.NaN()
-		return Load{nothing, nothing, nothing, nothing, nothing, nothing}
-	case n.condition.InvalidReports:
-		return Load{Inflight: 1e9, Queue: 1e9, Util: -3, LatencyMS: math.Inf(1), Served: 1 + 1e9*r.Float64(), Errors: 1e9}
-	case n.condition.ReportDelay > 0:
-		old := Load{}
-		for i := len(f.history) - 1; i >= 0; i-- {
-			if f.history[i].at <= now-n.condition.ReportDelay {
-				old = f.history[i].load
-				break
-			}
-		}
-		return old
-	}
-	return f.reported
-}
-
 // WorkOf draws what an attempt of a request costs: the request's own work, and what differs from one run to the next.
 func DrawWork(r *rand.Rand, work monotime.Micros, noise float64) monotime.Micros {
 	return max(1, monotime.Micros(randstream.LogNormal(r, float64(work), noise)))
--- /dev/null
+++ b/internal/simulation/simulation.go
@@ -0,0 +1,198 @@
+// Package simulation plays a fleet in simulated time. What decides is linked, not written again: each instance is an
+// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package simendpoint),
+// clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
+// build: it reads no clock, and all that is left to chance is drawn from package randstream, for whom it is meant. It knows
+// nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
+package simulation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/decide/overload"
+	"dunlinsail/internal/decide/subset"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/simulation/measure"
+	"dunlinsail/internal/simulation/randstream"
+	"dunlinsail/internal/simulation/scenario"
+	"dunlinsail/internal/simulation/simclient"
+	"dunlinsail/internal/siteconfig"
+)
+
+const second monotime.Micros = 1_000_000
+
+// Version changes when the same plan and settings would come to something else by this package's doing.
+const Version = 2
+
+// Settings are what a fleet runs on.
+type Settings struct {
+	Site           siteconfig.Site // of any instance: what differs between them is filled in
+	Concurrency    engine.ConcurrencySettings
+	RetryBudget    float64              // of the pool
+	Subset         *subset.Settings     // of each instance: place and number are filled in; nil is none
+	Overload       *overload.Settings   // of each instance: their number is filled in; nil is none
+	Coordination   *engine.Coordination // of each: who it is and who carries words are filled in; nil is none
+	MaxConnections int                  // to endpoints, of an instance; 0 is no bound
+	Clients        connlimit.Limits
+	Client         fairqueue.ClientSpec // what each client process may do
+
+	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots differ
+	// in nothing else.
+	DecisionSeed uint64
+	// Harm spoils this part of the stories: a known harm, to see whether a comparison finds it.
+	KnownHarm float64
+}
+
+// Options say how a run is played.
+type Options struct {
+	Plan     *scenario.Plan
+	Settings *Settings
+	Criteria measure.Criteria                                    // its classes and tenants, by name, are those of the plan
+	Trace    func(Trace)                                         // told of what happens to stories, for those who look for a cause; may be nil
+	Record   func(x *RequestRecord)                              // told of each request that an instance took, once it is over; may be nil
+	Log      func(at monotime.Micros, instance int, line string) // told of what instances log; may be nil
+	Progress func(at monotime.Micros)
+}
+
+// Trace is one step in a story's life.
+type Trace struct {
+	At        monotime.Micros
+	Operation uint64
+	Request   int
+	Instance  int
+	Attempt   int    // from 0; -1 is none
+	Endpoint  string // "" is none
+	Step      string
+}
+
+// Request is a client's request as its instance saw it.
+type RequestRecord struct {
+	Instance, Process      int
+	Operation              uint64
+	Class, Tenant          int // places among the judge's; no tenant is -1
+	IdempotencyKey, Object uint64
+	Retry                  bool
+	Arrived                monotime.Micros // the instance's clock
+	Duration               monotime.Micros
+	Timeout                monotime.Micros
+	ClientGone             bool // its client went before its answer
+	Response               engine.Response
+}
+
+// clockOrigin is Unix time at the beginning of a run, in microseconds: what clocks of instances and discovery tell.
+const clockOrigin monotime.Micros = 1_700_000_000_000_000
+
+// afterEnd bounds how long a run goes on after its last story began.
+const maxDrainTime = 120 * second
+
+// run is a run that is under way.
+type run struct {
+	options  Options
+	plan     *scenario.Plan
+	settings *Settings
+	now      monotime.Micros
+	events   eventQueue
+
+	criteriaClass  []int // place among the judge's classes of each of the plan's
+	settingsClass  []int // and among the settings' of each of the judge's
+	criteriaTenant []int
+	settingsTenant []int
+	behavior       simclient.Behavior
+
+	instances      []*instance
+	endpoints      []*endpoint
+	blockingEvents []int // happenings that keep ways apart
+	discovery      *discoveryService
+	network        network
+
+	workRand, faultRand, clientRand, reportRand *randstream.Stream
+	meter                                       *measure.Meter
+	pendingOperations                           int // stories
+	instancesWithArrivals                       int // instances that have stories to come
+	fleetMessages                               uint64
+}
+
+// Run plays a plan, or returns the error of settings that do not fit it. When ctx ends it returns its cause.
+func Run(ctx context.Context, o Options) (*measure.Result, error) {
+	startedAt := time.Now()
+	r := &run{options: o, plan: o.Plan, settings: o.Settings, behavior: o.Plan.ClientBehavior()}
+	if err := r.mapNames(); err != nil {
+		return nil, err
+	}
+	if o.Plan.Replay != nil && o.Plan.Source == nil {
+		return nil, errors.New("the scenario plays a record again, and that was not read")
+	}
+	seed := o.Plan.Seed
+	r.workRand, r.faultRand, r.clientRand, r.reportRand = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "reports")
+	r.meter = measure.New(o.Criteria, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
+	r.network = newNetwork(o.Plan)
+	r.discovery = newDiscoveryService(r)
+	for i := range o.Plan.Endpoints {
+		r.endpoints = append(r.endpoints, newEndpoint(r, i))
+	}
+	for i := range o.Plan.Instances {
+		in, err := newInstance(r, i)
+		if err != nil {
+			return nil, err
+		}
+		r.instances = append(r.instances, in)
+	}
+	for _, in := range r.instances {
+		in.start(true)
+		r.scheduleNextOperation(in)
+	}
+	r.scheduleEvents()
+	r.meter.SetFaultPeriod(r.plan.EventPeriod())
+	r.meter.SetEnvironment(measure.Environment{Capacity: r.plan.CapacityAt, Serving: r.plan.InstanceServing})
+	if err := r.play(ctx); err != nil {
+		return nil, err
+	}
+	result := r.meter.Result()
+	result.Scenario, result.Seed, result.Elapsed = o.Plan.Name, seed, time.Since(startedAt)
+	for i, e := range r.endpoints {
+		n := &o.Plan.Endpoints[i]
+		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight, Arrivals: e.arrivals,
+			Utilization: float64(e.model.WorkDone()) / n.Config.Speed / float64(n.Config.Cores) / float64(max(r.now, 1))})
+	}
+	return result, nil
+}
+
+// fit finds the plan's classes and tenants among the judge's and the settings'.
+func (r *run) mapNames() error {
+	for _, c := range r.plan.Classes {
+		at := slices.IndexFunc(r.options.Criteria.Classes, func(j balancer.Class) bool { return j.Name == c.Name })
+		if at < 0 {
+			return fmt.Errorf("the scenario's class %q is none of the settings' classes", c.Name)
+		}
+		r.criteriaClass = append(r.criteriaClass, at)
+	}
+	for _, t := range r.plan.Tenants {
+		at := slices.IndexFunc(r.options.Criteria.Tenants, func(j balancer.Tenant) bool { return j.Name == t.Name })
+		if at < 0 {
+			return fmt.Errorf("the scenario's tenant %q is none of the settings' tenants", t.Name)
+		}
+		r.criteriaTenant = append(r.criteriaTenant, at)
+	}
+	for _, c := range r.options.Criteria.Classes {
+		at := slices.Index(r.settings.Site.Classes, c.Name)
+		if at < 0 {
+			return fmt.Errorf("the class %q, by which is judged, is missing in these settings", c.Name)
+		}
+		r.settingsClass = append(r.settingsClass, at)
+	}
+	for _, t := range r.options.Criteria.Tenants {
+		at := slices.Index(r.settings.Site.Tenants, t.Name)
+		if at < 0 {
+			return fmt.Errorf("the tenant %q, by whom is judged, is missing in these settings", t.Name)
+		}
+		r.settingsTenant = append(r.settingsTenant, at)
+	}
+	return nil
+}
