--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -53,7 +53,8 @@
 
 // start finds a connection.
 func (s *attempt) start() {
-	in, r := s.instance, s.instance.run
+	in := s.instance
+	r := s.instance.run
 	all := in.idleUpstream[s.endpoint.index]
 	idle := r.settings.Site.KeepAlive.Microseconds() * 2 / 3
 	if in.maxIdleUpstream > 0 && in.maxIdleUpstream < 1 {
@@ -119,7 +120,8 @@
 
 // connected has the request go out, unless it may not any more.
 func (s *attempt) connected() {
-	in, r := s.instance, s.instance.run
+	in := s.instance
+	r := s.instance.run
 	if s.incarnation != in.incarnation {
 		s.endpoint.disconnect(s.connIncarnation)
 		return
@@ -172,7 +174,8 @@
 
 // end tells the engine what came of the attempt, if it still waits for that.
 func (s *attempt) end(status balancer.Status) {
-	in, r := s.instance, s.instance.run
+	in := s.instance
+	r := s.instance.run
 	if s.incarnation != in.incarnation || s.engineAttempt.Done() {
 		return
 	}
@@ -208,7 +211,8 @@
 
 // reach is the request's arrival at the endpoint.
 func (s *attempt) arriveAtEndpoint() {
-	r, e := s.instance.run, s.endpoint
+	r := s.instance.run
+	e := s.endpoint
 	if e.unreachable || r.pathBlocked(s.instance, e, false) {
 		return // nobody hears it, and nobody says so
 	}
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -70,7 +70,8 @@
 // change tells discovery how it now stands with an endpoint, after the time that it takes to hear of it. vanished says
 // that nobody told it: the endpoint has fallen silent.
 func (t *discoveryService) endpointChanged(n int, state balancer.EndpointState, vanished bool) {
-	r, d := t.run, &t.run.plan.Discovery
+	r := t.run
+	d := &t.run.plan.Discovery
 	after := d.Add
 	switch {
 	case vanished:
@@ -81,7 +82,8 @@
 		after = d.Gone
 	}
 	t.changes++
-	lo, hi := float64(after.From.Microseconds()), float64(after.To.Microseconds())
+	lo := float64(after.From.Microseconds())
+	hi := float64(after.To.Microseconds())
 	heard := r.now + monotime.Micros(lo+(hi-lo)*t.random.For(uint64(n), t.changes).Float64()) + t.extraDelay
 	heard = max(heard, t.lastChangeAt[n]+1) // its words keep their order
 	t.lastChangeAt[n] = heard
@@ -192,7 +194,8 @@
 				all = append(all, m)
 			}
 		}
-		t.fullList, t.fullListGeneration = all, t.generation
+		t.fullList = all
+		t.fullListGeneration = t.generation
 	}
 	told.Endpoints = t.fullList
 	return told
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -131,7 +131,8 @@
 	e.advance()
 	held := e.model.Kill(e.run.now)
 	e.incarnation++
-	e.draining, e.unreachable = false, silent
+	e.draining = false
+	e.unreachable = silent
 	for _, j := range held {
 		s := j.HostData.(*attempt)
 		s.held = false
@@ -163,7 +164,8 @@
 		e.kill(false)
 	}
 	e.incarnation++
-	e.unreachable, e.draining = false, false
+	e.unreachable = false
+	e.draining = false
 	e.model.Start(e.run.now, always)
 	e.run.discovery.endpointChanged(e.index, balancer.Ready, false)
 }
--- a/internal/simulation/eventqueue.go
+++ b/internal/simulation/eventqueue.go
@@ -52,7 +52,8 @@
 	}
 	i := 0
 	for {
-		least, from := -1, 4*i+1
+		least := -1
+		from := 4*i + 1
 		for c := from; c < min(from+4, last); c++ {
 			if least < 0 || before(&q.heap[c], &q.heap[least]) {
 				least = c
--- a/internal/simulation/fleetmessages.go
+++ b/internal/simulation/fleetmessages.go
@@ -34,7 +34,9 @@
 	}
 	t := *in.run.settings.Coordination
 	t.Settings.Candidates = QuotaCandidates(t.Settings.Candidates, len(in.run.plan.Instances))
-	t.Settings.Self, t.Settings.Seed, t.Settings.Quota.MaxInstances = instanceName(in.index), in.seed+uint64(in.incarnation), len(in.run.plan.Instances)
+	t.Settings.Self = instanceName(in.index)
+	t.Settings.Seed = in.seed + uint64(in.incarnation)
+	t.Settings.Quota.MaxInstances = len(in.run.plan.Instances)
 	lives := uint64(in.incarnation) << 8
 	t.NextIncarnation = func() uint64 {
 		lives++
@@ -82,7 +84,8 @@
 
 // arrive hands a word over, unless nothing passes or its instance has begun anew.
 func (w *fleetMessage) arrive() {
-	to, r := w.to, w.to.run
+	to := w.to
+	r := w.to.run
 	if to.down || to.incarnation != w.incarnation || r.plan.Partitioned(r.now, w.from.index, to.index) || r.network.zonesCut(w.from.zone, to.zone) {
 		return
 	}
--- a/internal/simulation/host.go
+++ b/internal/simulation/host.go
@@ -65,7 +65,8 @@
 func (in *instance) Respond(c *engine.Call, a engine.Response) {
 	t := c.HostData.(*clientRequest)
 	r := in.run
-	t.response, t.responded = a, true
+	t.response = a
+	t.responded = true
 	in.removeInFlight(t)
 	in.recordRequest(t, false)
 	if t.conn != nil {
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -62,8 +62,10 @@
 	p := &r.plan.Instances[n]
 	in := &instance{run: r, index: n, zone: p.Zone, site: r.settings.Site, down: true, seed: randstream.New(r.plan.Seed, "decisions").For(uint64(n), r.settings.DecisionSeed).Uint64()}
 	s := &in.site.Settings
-	s.Balancers, s.Position = len(r.plan.Instances), n
-	s.Zone, s.ZoneCount = zoneIndex(in.site.Zones, r.plan.Fleet.Zones[p.Zone]), len(in.site.Zones)
+	s.Balancers = len(r.plan.Instances)
+	s.Position = n
+	s.Zone = zoneIndex(in.site.Zones, r.plan.Fleet.Zones[p.Zone])
+	s.ZoneCount = len(in.site.Zones)
 	if s.Zone < 0 {
 		return nil, fmt.Errorf("the scenario's zone %q is none of the settings' zones", r.plan.Fleet.Zones[p.Zone])
 	}
@@ -94,7 +96,8 @@
 	var part *subset.Settings
 	if r.settings.Subset != nil {
 		own := *r.settings.Subset
-		own.Position, own.Instances = uint64(in.index), len(r.plan.Instances)
+		own.Position = uint64(in.index)
+		own.Instances = len(r.plan.Instances)
 		part = &own
 	}
 	var over *overload.Settings
@@ -110,7 +113,9 @@
 	if in.connTable, err = connlimit.New[*clientConn](r.settings.Clients, nil); err != nil {
 		return err
 	}
-	in.clients, in.owners, in.idleClientConns = nil, nil, nil
+	in.clients = nil
+	in.owners = nil
+	in.idleClientConns = nil
 	for i := range r.plan.Clients.Processes {
 		spec := r.settings.Client
 		spec.Name = fmt.Sprint(i)
@@ -122,8 +127,11 @@
 		in.owners = append(in.owners, in.connTable.NewOwner(spec.Weight, math.MaxInt, 0))
 		in.idleClientConns = append(in.idleClientConns, nil)
 	}
-	in.inFlight, in.hasEndpointList = nil, false
-	in.idleUpstream, in.upstreamConns, in.leavingSince = map[int][]idleConn{}, 0, map[int]monotime.Micros{}
+	in.inFlight = nil
+	in.hasEndpointList = false
+	in.idleUpstream = map[int][]idleConn{}
+	in.upstreamConns = 0
+	in.leavingSince = map[int]monotime.Micros{}
 	return nil
 }
 
@@ -134,7 +142,10 @@
 			panic(err) // the same settings were taken before
 		}
 	}
-	in.down, in.wakeupAt, in.frozenUntil, in.heldEvents = false, 0, 0, nil
+	in.down = false
+	in.wakeupAt = 0
+	in.frozenUntil = 0
+	in.heldEvents = nil
 	in.pool.Start(in.localTime())
 	in.engine.StartCoordination(in.localTime())
 	if first || !in.run.discovery.silent && in.discoveryBlocks == 0 {
--- a/internal/simulation/measure/arrivals.go
+++ b/internal/simulation/measure/arrivals.go
@@ -64,7 +64,8 @@
 
 // Cause tells when what goes wrong begins, and when all of it has ended.
 func (m *Meter) SetFaultPeriod(from, until monotime.Micros) {
-	m.arrivals.faultsFrom, m.arrivals.faultsUntil = from, until
+	m.arrivals.faultsFrom = from
+	m.arrivals.faultsUntil = until
 }
 
 const (
@@ -74,7 +75,8 @@
 
 // figures adds what the seconds come to.
 func (a *arrivals) figures(f map[string]float64, weight []weightSum) {
-	first, probes := 0, 0
+	first := 0
+	probes := 0
 	for i := range a.seconds {
 		s := &a.seconds[i]
 		first += s.FirstAttempts
@@ -88,7 +90,8 @@
 	f["further_peak"] += 0 // a figure, also where nothing came
 	f["probes_first"] = float64(probes) / max(1, float64(first))
 	f["back"] = 1
-	before, after := sum(weight, 0, a.faultsFrom), sum(weight, a.faultsUntil+recoveryTime, monotime.Micros(len(weight))*second)
+	before := sum(weight, 0, a.faultsFrom)
+	after := sum(weight, a.faultsUntil+recoveryTime, monotime.Micros(len(weight))*second)
 	if a.faultsUntil > 0 && before.offered > 0 && after.offered > 0 {
 		f["back"] = min(1, after.share()/max(1e-9, before.share()))
 	}
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -122,7 +122,8 @@
 	}
 	m.seconds = make([]weightSum, (length+second-1)/second)
 	m.arrivals = arrivals{seconds: make([]Second, len(m.seconds)), probes: make([][]uint32, len(m.seconds)), dials: make([][]uint32, len(m.seconds))}
-	m.classes, m.tenants = make([]groupTotals, len(j.Classes)), make([]groupTotals, len(j.Tenants))
+	m.classes = make([]groupTotals, len(j.Classes))
+	m.tenants = make([]groupTotals, len(j.Tenants))
 	m.allowances = make([]tokenBucket, len(j.Tenants))
 	for i := range m.allowances {
 		m.allowances[i].level = max(1, j.Tenants[i].Quota)
@@ -143,7 +144,8 @@
 		return weight, true
 	}
 	// A second's allowance may come at once.
-	b, rate := &m.allowances[s.Tenant], m.criteria.Tenants[s.Tenant].Quota
+	b := &m.allowances[s.Tenant]
+	rate := m.criteria.Tenants[s.Tenant].Quota
 	b.level = min(max(1, rate), b.level+rate*float64(s.StartedAt-b.updatedAt)/float64(second))
 	b.updatedAt = s.StartedAt
 	if b.level < 1 {
--- a/internal/simulation/measure/quotaspending.go
+++ b/internal/simulation/measure/quotaspending.go
@@ -20,7 +20,9 @@
 // figures adds what the worst second of any tenant's limit comes to, and what part of the limits was used in the
 // seconds in which more was asked for. Of budgets that grow with what is accepted the endpoints' figures tell.
 func (s quotaSpending) figures(f map[string]float64, j *Criteria, demand map[int][]int) {
-	f["over_budget"], f["beyond_limit"], f["budget_use"] = 0, 0, 1
+	f["over_budget"] = 0
+	f["beyond_limit"] = 0
+	f["budget_use"] = 1
 	var could, used float64
 	for i, t := range j.Tenants {
 		at := s["tenant/"+t.Name]
--- a/internal/simulation/measure/result.go
+++ b/internal/simulation/measure/result.go
@@ -67,16 +67,20 @@
 // Result sums up.
 func (m *Meter) Result() *Result {
 	r := &Result{Figures: map[string]float64{}, Costs: m.Costs, Operations: m.operations, Served: m.outcomes[simclient.Served], Digest: hex(m.digest.Sum64())}
-	f, c, n := r.Figures, &m.Costs, math.Max(1, float64(m.operations))
+	f := r.Figures
+	c := &m.Costs
+	n := math.Max(1, float64(m.operations))
 	f["whole"] = m.total.share()
 	f["worst_window"] = m.worstWindowShare()
-	f["worst_class"], f["worst_tenant"] = 1, 1
+	f["worst_class"] = 1
+	f["worst_tenant"] = 1
 	all := hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 3)
 	for i := range m.classes {
 		f["worst_class"] = min(f["worst_class"], m.classes[i].share())
 		name := m.criteria.Classes[i].Name
 		f["service."+name] = m.classes[i].share()
-		f["p50."+name], f["p99."+name] = quantileMS(m.latencies[i], 50), quantileMS(m.latencies[i], 99)
+		f["p50."+name] = quantileMS(m.latencies[i], 50)
+		f["p99."+name] = quantileMS(m.latencies[i], 99)
 		all.Merge(m.latencies[i])
 		t := ClassLatency{Name: name, Count: m.latencies[i].TotalCount()}
 		for _, q := range quantiles {
@@ -89,7 +93,10 @@
 		f["service."+m.criteria.Tenants[i].Name] = m.tenants[i].share()
 	}
 	f["modest"], f["p99_modest"] = m.modestClients()
-	f["p50"], f["p90"], f["p99"], f["p999"] = quantileMS(all, 50), quantileMS(all, 90), quantileMS(all, 99), quantileMS(all, 99.9)
+	f["p50"] = quantileMS(all, 50)
+	f["p90"] = quantileMS(all, 90)
+	f["p99"] = quantileMS(all, 99)
+	f["p999"] = quantileMS(all, 99.9)
 	f["served"] = float64(m.outcomes[simclient.Served]) / n
 	f["unserved"] = float64(m.outcomes[simclient.Unserved]) / n
 	f["tries"] = float64(c.ClientRequests) / n
@@ -106,12 +113,15 @@
 	m.priorityAudit.figures(f, m.total.earned)
 	m.quotaSpending.figures(f, &m.criteria, m.tenantDemand)
 	f["words"] = float64(c.FleetMessages) / n
-	f["work_sent"], f["work_left"], f["work_took"] = 0, 0, 0
+	f["work_sent"] = 0
+	f["work_left"] = 0
+	f["work_took"] = 0
 	for name, v := range m.maintenance {
 		f[name] = v
 	}
 	f["breaks"] = float64(c.Collapses + c.AttemptsAfterDrain + c.DuplicateEffects + c.LateResponses)
-	g, p := &m.criteria.Goal, &m.criteria.Prices
+	g := &m.criteria.Goal
+	p := &m.criteria.Prices
 	weights := g.Overall + g.WorstWindow + g.WorstClass + g.WorstTenant
 	if weights <= 0 {
 		f["service"] = f["whole"]
@@ -119,7 +129,8 @@
 		f["service"] = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] + g.WorstTenant*f["worst_tenant"]) / weights
 	}
 	f["service"] -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
-	r.Series, r.Seconds = m.series(), m.arrivals.seconds
+	r.Series = m.series()
+	r.Seconds = m.arrivals.seconds
 	return r
 }
 
@@ -202,7 +213,8 @@
 		s.Unserved = append(s.Unserved, float64(b.unserved)/per)
 		s.Rejected = append(s.Rejected, float64(b.rejectedRequests)/per)
 		s.Failed = append(s.Failed, float64(b.failedRequests)/per)
-		s.P50, s.P99 = append(s.P50, quantileMS(b.latencies, 50)), append(s.P99, quantileMS(b.latencies, 99))
+		s.P50 = append(s.P50, quantileMS(b.latencies, 50))
+		s.P99 = append(s.P99, quantileMS(b.latencies, 99))
 		for j := range b.classes {
 			s.Class[j] = append(s.Class[j], b.classes[j].share())
 		}
--- a/internal/simulation/operation.go
+++ b/internal/simulation/operation.go
@@ -140,7 +140,8 @@
 		return
 	}
 	t.done = true
-	s, r := t.operation, t.operation.run
+	s := t.operation
+	r := t.operation.run
 	if r.options.Trace != nil {
 		r.trace(t, -1, "", [...]string{"is served", "is refused", "is failed", "has no answer"}[v])
 	}
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -12,7 +12,9 @@
 
 // submit hands a try's request to the instance, once it is whole there.
 func (t *clientRequest) submit() {
-	in, r, s := t.instance, t.operation.run, t.operation
+	in := t.instance
+	r := t.operation.run
+	s := t.operation
 	if t.done {
 		return // its client has left already
 	}
@@ -20,7 +22,8 @@
 		r.events.push(r.now+r.network.clientDelay(s.ID, t.Number, true), connRejected, 0, t)
 		return
 	}
-	t.incarnation, t.submitted = in.incarnation, true
+	t.incarnation = in.incarnation
+	t.submitted = true
 	t.inFlightIndex = len(in.inFlight)
 	in.inFlight = append(in.inFlight, t)
 	now := in.localTime()
@@ -90,7 +93,8 @@
 	if tell == nil {
 		return
 	}
-	s, arrived := t.operation, t.call.ArrivedAt
+	s := t.operation
+	arrived := t.call.ArrivedAt
 	tell(&RequestRecord{Instance: in.index, Process: s.Process, Operation: s.ID, Class: s.Class, Tenant: s.Tenant, IdempotencyKey: t.IdempotencyKey, Object: s.Object, Retry: t.Retry, Arrived: arrived,
 		Duration: in.localTime() - arrived, Timeout: t.call.Request.Deadline - arrived, ClientGone: left, Response: t.response})
 }
--- a/internal/simulation/scenario/draw.go
+++ b/internal/simulation/scenario/draw.go
@@ -183,7 +183,8 @@
 		} else {
 			h.Sizes = []float64{randstream.Range(r, e.Size.ends(0))}
 		}
-		h.Way, h.Others = e.Way, sorted(e.Others)
+		h.Way = e.Way
+		h.Others = sorted(e.Others)
 		h.Instances = p.chooseInstances(e, stream.For(uint64(i), 1))
 		p.PlannedEvents = append(p.PlannedEvents, h)
 	}
--- a/internal/simulation/scenario/operations.go
+++ b/internal/simulation/scenario/operations.go
@@ -27,7 +27,8 @@
 	case i == len(p.Shape):
 		return p.Shape[i-1].Factor
 	}
-	a, b := &p.Shape[i-1], &p.Shape[i]
+	a := &p.Shape[i-1]
+	b := &p.Shape[i]
 	part := float64(at-a.At.Micros()) / float64(b.At.Micros()-a.At.Micros())
 	return a.Factor + (b.Factor-a.Factor)*part
 }
@@ -134,7 +135,8 @@
 		}
 	}
 	rate := p.Rate * in.Share * most / float64(second)
-	at, n := 0.0, uint64(0)
+	at := 0.0
+	n := uint64(0)
 	end := float64(p.Length.Micros())
 	return func() (simclient.Operation, bool) {
 		if rate <= 0 {
--- a/internal/simulation/scenario/parse.go
+++ b/internal/simulation/scenario/parse.go
@@ -71,7 +71,9 @@
 		if err := s.overlay(base, find, depth+1); err != nil {
 			return fmt.Errorf("scenario %q: %w", own.Base, err)
 		}
-		s.About, s.Expect = "", nil // these are of the one that says them
+		// these are of the one that says them
+		s.About = ""
+		s.Expect = nil
 	}
 	// A list that stands here stands in place of the base's.
 	for _, list := range []struct {
@@ -119,16 +121,22 @@
 func (s *Scenario) Clone() *Scenario {
 	c := *s
 	c.Fleet.Zones = slices.Clone(s.Fleet.Zones)
-	c.EndpointKinds, c.Classes, c.Tenants = slices.Clone(s.EndpointKinds), slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	c.EndpointKinds = slices.Clone(s.EndpointKinds)
+	c.Classes = slices.Clone(s.Classes)
+	c.Tenants = slices.Clone(s.Tenants)
 	for _, at := range []**stricttoml.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain, &c.Discovery.Gone, &c.Discovery.Silent} {
 		own := **at
 		*at = &own
 	}
-	c.Shape, c.Events, c.Expect = slices.Clone(s.Shape), slices.Clone(s.Events), slices.Clone(s.Expect)
+	c.Shape = slices.Clone(s.Shape)
+	c.Events = slices.Clone(s.Events)
+	c.Expect = slices.Clone(s.Expect)
 	c.Settings = slices.Clone(s.Settings)
 	for i := range c.Events {
 		e := &c.Events[i]
-		e.Part, e.Size, e.Instances = slices.Clone(e.Part), slices.Clone(e.Size), slices.Clone(e.Instances)
+		e.Part = slices.Clone(e.Part)
+		e.Size = slices.Clone(e.Size)
+		e.Instances = slices.Clone(e.Instances)
 		for _, at := range []**stricttoml.Span{&e.At, &e.For, &e.Delay} {
 			if *at != nil {
 				own := **at
--- a/internal/simulation/scenario/plannedevent.go
+++ b/internal/simulation/scenario/plannedevent.go
@@ -51,7 +51,8 @@
 		if h.What != "part" || now < h.At || now >= h.Until || h.Every > 0 && (now-h.At)/h.Every%2 != 0 {
 			continue
 		}
-		a, b := contains(h.Instances, from), contains(h.Instances, to)
+		a := contains(h.Instances, from)
+		b := contains(h.Instances, to)
 		if h.Others != nil && !contains(h.Others, from) && !contains(h.Others, to) {
 			continue
 		}
@@ -108,7 +109,8 @@
 	case "errors":
 		c.ErrorRate = min(1, c.ErrorRate+size)
 		if h.Class >= 0 {
-			c.OneClass, c.Class = true, classOf[h.Class]
+			c.OneClass = true
+			c.Class = classOf[h.Class]
 		}
 	case "mute":
 		c.UnansweredRate = min(1, c.UnansweredRate+size)
--- a/internal/simulation/simclient/operation.go
+++ b/internal/simulation/simclient/operation.go
@@ -99,7 +99,8 @@
 
 func (s *Operation) nextRequest(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
 	s.Requests++
-	s.requestNumber, s.inFlight = s.Requests, true
+	s.requestNumber = s.Requests
+	s.inFlight = true
 	t := Request{Number: s.requestNumber, IdempotencyKey: s.IdempotencyKey, Retry: h.MarkRetries && s.requestNumber > 1}
 	if s.freshKeys && s.IdempotencyKey != 0 && s.requestNumber > 1 {
 		t.IdempotencyKey = s.IdempotencyKey + uint64(s.requestNumber)*0x9e3779b97f4a7c15
@@ -123,7 +124,8 @@
 	s.inFlight = false
 	switch v {
 	case OK:
-		s.Outcome, s.EndedAt = Served, now
+		s.Outcome = Served
+		s.EndedAt = now
 		if s.DiscardsResponse {
 			s.Outcome = Unserved
 		}
@@ -141,7 +143,8 @@
 		wait = max(wait, retryAfter)
 	}
 	if s.requestNumber > s.maxRetries || now+wait >= s.Deadline(c) || v != Rejected && c.Idempotency == balancer.NonIdempotent {
-		s.Outcome, s.EndedAt = Unserved, now
+		s.Outcome = Unserved
+		s.EndedAt = now
 		return 0, false
 	}
 	return now + wait, true
--- a/internal/simulation/simendpoint/endpoint.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -91,9 +91,16 @@
 
 // Start has it come up. One that was always up is warm.
 func (n *Endpoint) Start(now monotime.Micros, always bool) {
-	n.up, n.draining, n.collapsed, n.startedAt, n.alwaysUp = true, false, false, now, always
-	n.pendingOverhead, n.connections, n.pausedUntil = 0, 0, 0
-	n.offeredWork, n.offeredSlot = [10]float64{}, 0
+	n.up = true
+	n.draining = false
+	n.collapsed = false
+	n.startedAt = now
+	n.alwaysUp = always
+	n.pendingOverhead = 0
+	n.connections = 0
+	n.pausedUntil = 0
+	n.offeredWork = [10]float64{}
+	n.offeredSlot = 0
 	n.report = loadReporter{windowStart: now}
 }
 
@@ -109,7 +116,10 @@
 	for _, j := range held {
 		n.discard(j)
 	}
-	n.up, n.busy, n.queue, n.completions = false, 0, nil, nil
+	n.up = false
+	n.busy = 0
+	n.queue = nil
+	n.completions = nil
 	return held
 }
 
@@ -227,7 +237,8 @@
 	at := now / width
 	for ; n.offeredSlot < at; n.offeredSlot++ {
 		if at-n.offeredSlot > int64(len(n.offeredWork)) {
-			n.offeredSlot, n.offeredWork = at-1, [10]float64{}
+			n.offeredSlot = at - 1
+			n.offeredWork = [10]float64{}
 		}
 		n.offeredWork[(n.offeredSlot+1)%int64(len(n.offeredWork))] = 0
 	}
@@ -248,12 +259,14 @@
 	speed := n.coreSpeed(now)
 	length := monotime.Micros(float64(j.Work+n.pendingOverhead)/speed) + 1
 	n.pendingOverhead = 0
-	j.startedAt, j.endsAt = now, max(now, n.pausedUntil)+length
+	j.startedAt = now
+	j.endsAt = max(now, n.pausedUntil) + length
 	n.report.coreTime += length
 	n.busy++
 	for i := range n.cores {
 		if n.cores[i] == nil {
-			n.cores[i], j.core = j, i
+			n.cores[i] = j
+			j.core = i
 			return
 		}
 	}
@@ -263,7 +276,8 @@
 func (n *Endpoint) NextCompletion() (at monotime.Micros, ok bool) {
 	for _, j := range n.cores {
 		if j != nil && (!ok || j.endsAt < at) {
-			at, ok = j.endsAt, true
+			at = j.endsAt
+			ok = true
 		}
 	}
 	return at, ok
@@ -308,7 +322,8 @@
 	n.report.current.LatencyMS += (float64(j.Work)/n.coreSpeed(now)/1000 - n.report.current.LatencyMS) * 0.1
 	e := Completion{Job: j, At: now, Verdict: Completed, Effect: true}
 	if j.duplicate {
-		e.Verdict, e.Effect = Duplicate, false
+		e.Verdict = Duplicate
+		e.Effect = false
 	}
 	switch {
 	case j.Chance < n.config.ErrorRate:
--- a/internal/simulation/simendpoint/endpoint_test.go
+++ b/internal/simulation/simendpoint/endpoint_test.go
@@ -121,7 +121,8 @@
 // Repeats of a key are dropped by all of a group, for as long as it remembers.
 func TestRepeats(t *testing.T) {
 	g := NewDedupGroup(400_000)
-	a, b := New(Config{Cores: 1, Speed: 1}, g), New(Config{Cores: 1, Speed: 1}, g)
+	a := New(Config{Cores: 1, Speed: 1}, g)
+	b := New(Config{Cores: 1, Speed: 1}, g)
 	a.Start(0, true)
 	b.Start(0, true)
 	run := func(n *Endpoint, now monotime.Micros) Completion {
--- a/internal/simulation/simendpoint/report.go
+++ b/internal/simulation/simendpoint/report.go
@@ -39,11 +39,15 @@
 		f.current.Served = float64(f.served) * float64(second) / float64(now-f.windowStart)
 		f.current.Errors = float64(f.errors) * float64(second) / float64(now-f.windowStart)
 		f.current.Util = min(1, float64(f.coreTime)/float64(now-f.windowStart)/float64(len(n.cores)))
-		f.windowStart, f.served, f.errors, f.coreTime = now, 0, 0, 0
+		f.windowStart = now
+		f.served = 0
+		f.errors = 0
+		f.coreTime = 0
 	}
 	if f.reportedAt == 0 || now-f.reportedAt >= n.config.ReportInterval {
 		f.reportedAt = now
-		f.current.Inflight, f.current.Queue = float64(n.InFlight()), float64(len(n.queue))
+		f.current.Inflight = float64(n.InFlight())
+		f.current.Queue = float64(len(n.queue))
 		f.reported = f.current
 		if n.config.ReportNoise > 0 {
 			f.reported.Inflight = max(0, f.reported.Inflight*(1+n.config.ReportNoise*r.NormFloat64()))
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -130,7 +130,10 @@
 		return nil, errors.New("the scenario plays a record again, and that was not read")
 	}
 	seed := o.Plan.Seed
-	r.workRand, r.faultRand, r.clientRand, r.reportRand = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "reports")
+	r.workRand = randstream.New(seed, "noise")
+	r.faultRand = randstream.New(seed, "luck")
+	r.clientRand = randstream.New(seed, "callers")
+	r.reportRand = randstream.New(seed, "reports")
 	r.meter = measure.New(o.Criteria, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
 	r.network = newNetwork(o.Plan)
 	r.discovery = newDiscoveryService(r)
@@ -155,7 +158,9 @@
 		return nil, err
 	}
 	result := r.meter.Result()
-	result.Scenario, result.Seed, result.Elapsed = o.Plan.Name, seed, time.Since(startedAt)
+	result.Scenario = o.Plan.Name
+	result.Seed = seed
+	result.Elapsed = time.Since(startedAt)
 	for i, e := range r.endpoints {
 		n := &o.Plan.Endpoints[i]
 		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight, Arrivals: e.arrivals,
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -178,7 +178,8 @@
 
 // A known harm shows, and settings that lack what the scenario speaks of are turned down.
 func TestHarmAndMisfits(t *testing.T) {
-	good, harmed := testSettings(), testSettings()
+	good := testSettings()
+	harmed := testSettings()
 	harmed.KnownHarm = 0.2
 	if a, b := play(t, "", 1, good, nil).Figures["served"], play(t, "", 1, harmed, nil).Figures["unserved"]; a < 0.99 || b < 0.15 || b > 0.25 {
 		t.Errorf("served %v without harm; unserved %v with a fifth harmed", a, b)
@@ -203,7 +204,8 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	var q eventQueue
 	var last event
-	in, outs := 0, 0
+	in := 0
+	outs := 0
 	for in < 5000 || q.len() > 0 {
 		if in < 5000 && (q.len() == 0 || rng.IntN(2) == 0) {
 			q.push(last.at+int64(rng.IntN(50)), requestRetried, uint32(in), nil)
