--- a/internal/bench/quietfleet/quietfleet.go
+++ b/internal/bench/quietfleet/quietfleet.go
@@ -77,12 +77,12 @@
 	defer cancel()
 	fleet := make([]*instance, o.Instances)
 	for i := range fleet {
-		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, Most: 256, KeepAlive: where.KeepAlive, Fields: where.LoadReportFields, DialTimeout: giveUp / 2})}
+		in := &instance{up: upstream.New(upstream.Options{Clock: clk, Log: log, MaxConns: 256, KeepAlive: where.KeepAlive, LoadFields: where.LoadReportFields, DialTimeout: giveUp / 2})}
 		in.core = core.New(core.Config{Clock: clk, Site: where, Seed: uint64(i), Upstream: in.up, Log: log})
 		c := engine.PoolConfig{InitialEndpoints: endpointsource.StaticList(o.Nodes, "a", 0), StaticList: true, SetWatch: func(bool) {}}
 		if o.Subset > 0 {
 			c.Subset = &subset.Settings{Position: uint64(i), Instances: o.Instances, MinMembers: o.Subset, EndpointProbes: o.NodeProbes, EndpointIdleConnections: o.NodeIdle}
-			c.OnIdleConnections = func(n float64) { in.up.Rest("", n) }
+			c.OnIdleConnections = func(n float64) { in.up.LimitIdle("", n) }
 		}
 		var err error
 		if in.pool, err = in.core.NewPool(c); err != nil {
@@ -92,7 +92,7 @@
 			return Result{}, err
 		}
 		all.Go(func() { in.core.Run(beside) })
-		all.Go(func() { in.up.Keep(beside) })
+		all.Go(func() { in.up.Run(beside) })
 		fleet[i] = in
 	}
 	var r Result
@@ -129,8 +129,10 @@
 	now := clk.Now()
 	c := &core.Call{Client: in.client, Pool: in.pool, ID: id, Request: balancer.Request{Deadline: now + clock.Micros(giveUp)}, ArrivedAt: now,
 		Response: make(chan engine.Response, 1)}
-	m := &upstream.Message{Method: "GET", URI: "/look/" + id, Host: "fleet", Header: map[string][]string{"X-Trace-Id": {id}}}
-	c.Attempt = func(ctx context.Context, t *core.AttemptContext) engine.AttemptResult { return in.up.Send(ctx, t, m) }
+	m := &upstream.BufferedRequest{Method: "GET", URI: "/look/" + id, Host: "fleet", Header: map[string][]string{"X-Trace-Id": {id}}}
+	c.Attempt = func(ctx context.Context, t *core.AttemptContext) engine.AttemptResult {
+		return in.up.SendBuffered(ctx, t, m)
+	}
 	in.core.Submit(c)
 	return (<-c.Response).Verdict
 }
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -62,13 +62,13 @@
 	d.clock = clk
 	n := &c.Connections
 	d.upstreams = upstream.New(upstream.Options{
-		Clock:       clk,
-		Log:         o.Log,
-		Most:        n.MaxEndpoints,
-		DialTimeout: c.Attempts.DialTimeout.Duration,
-		KeepAlive:   c.Site.KeepAlive,
-		Fields:      c.Site.LoadReportFields,
-		OnAnswers:   c.Site.ReportsOnResponses,
+		Clock:           clk,
+		Log:             o.Log,
+		MaxConns:        n.MaxEndpoints,
+		DialTimeout:     c.Attempts.DialTimeout.Duration,
+		KeepAlive:       c.Site.KeepAlive,
+		LoadFields:      c.Site.LoadReportFields,
+		LoadInResponses: c.Site.ReportsOnResponses,
 	})
 	if err := d.newCore(); err != nil {
 		return nil, err
@@ -121,7 +121,7 @@
 		Clock:       d.clock,
 		Site:        &c.Site,
 		Core:        d.core,
-		SendAttempt: d.upstreams.SendWhole,
+		SendAttempt: d.upstreams.Send,
 		Log:         d.log,
 		Limits:      c.RestLimits(),
 	}
@@ -144,7 +144,7 @@
 func (d *generation) startBackground() {
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.goroutines.Go(func() { d.core.Run(d.ctx) })
-	d.goroutines.Go(func() { d.upstreams.Keep(d.ctx) })
+	d.goroutines.Go(func() { d.upstreams.Run(d.ctx) })
 	for _, p := range d.pools {
 		d.startSource(p)
 	}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -40,7 +40,7 @@
 		RetryWithin:       clock.Micros(conf.RetryWithin()),
 		Overload:          d.config.Overload.Settings(d.config.Fleet.Instances),
 		Subset:            d.config.Fleet.SubsetSettings(),
-		OnIdleConnections: func(n float64) { d.upstreams.Rest(conf.Name, n) },
+		OnIdleConnections: func(n float64) { d.upstreams.LimitIdle(conf.Name, n) },
 		SetWatch:          func(bool) {},
 	}
 	switch {
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -96,24 +96,24 @@
 }
 
 // upstreamRules returns how a route's requests of a class are sent, and their responses judged.
-func upstreamRules(c *config.Config, conf *config.Route, class uint8, deadline http1.ValueSource) *upstream.Rules {
+func upstreamRules(c *config.Config, conf *config.Route, class uint8, deadline http1.ValueSource) *upstream.ResponsePolicy {
 	settings := &c.Site.Settings.Classes[class]
-	x := &upstream.Rules{
-		Unsafe: settings.Idempotency == balancer.NonIdempotent,
-		Hold:   conf.MaxResponseHeld.Bytes,
-		Most:   conf.MaxResponse.Bytes,
-		Idle:   conf.IdleTimeout.Duration,
-		Whole:  conf.TotalTimeout.Duration,
-		Wait:   c.Classes[class].ClientTimeout.Duration,
+	x := &upstream.ResponsePolicy{
+		NonIdempotent:   settings.Idempotency == balancer.NonIdempotent,
+		MaxBuffered:     conf.MaxResponseHeld.Bytes,
+		MaxBytes:        conf.MaxResponse.Bytes,
+		IdleTimeout:     conf.IdleTimeout.Duration,
+		BodyTimeout:     conf.TotalTimeout.Duration,
+		ResponseTimeout: c.Classes[class].ClientTimeout.Duration,
 	}
 	if deadline.Kind == http1.FromHeader {
-		x.Deadline = deadline.Name
+		x.DeadlineHeader = deadline.Name
 	}
 	for _, code := range conf.ErrorStatuses {
-		x.Failure[code] = true
+		x.FailureStatus[code] = true
 	}
 	for _, code := range conf.RejectionStatuses {
-		x.Full[code] = true
+		x.RejectedStatus[code] = true
 	}
 	return x
 }
--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -39,15 +39,15 @@
 
 // newClassRoutes returns how the requests of each class are handled.
 func (s *Server) newClassRoutes() []Route {
-	rules := &upstream.Rules{
-		Hold:     classBodyBuffer,
-		Patient:  true,
-		Idle:     classIdleTimeout,
-		Deadline: "X-Expires-In-Ms",
-		Own:      true,
+	rules := &upstream.ResponsePolicy{
+		MaxBuffered:         classBodyBuffer,
+		BufferSlowResponses: true,
+		IdleTimeout:         classIdleTimeout,
+		DeadlineHeader:      "X-Expires-In-Ms",
+		ReplaceErrors:       true,
 	}
-	for code := range rules.Failure {
-		rules.Failure[code] = code != http.StatusOK
+	for code := range rules.FailureStatus {
+		rules.FailureStatus[code] = code != http.StatusOK
 	}
 	routes := make([]Route, len(s.options.Site.Classes))
 	for i, name := range s.options.Site.Classes {
@@ -138,7 +138,7 @@
 	}
 	parsed.call = s.newClassCall(c, req, uint8(class), timeout)
 	parsed.out = newClassOutbound(req, uri, parsed.route.SafeRules)
-	parsed.out.Wait = time.Duration(parsed.call.Request.Deadline) * time.Microsecond
+	parsed.out.ResponseTimeout = time.Duration(parsed.call.Request.Deadline) * time.Microsecond
 	return parsed, nil
 }
 
@@ -211,13 +211,13 @@
 }
 
 // newClassOutbound returns a request for an endpoint, without its body.
-func newClassOutbound(req *http.Request, uri string, rules *upstream.Rules) *upstream.Request {
+func newClassOutbound(req *http.Request, uri string, rules *upstream.ResponsePolicy) *upstream.Request {
 	out := &upstream.Request{
 		Method: req.Method,
 		URI:    uri,
 		Host:   req.Host,
 		Header: make(http.Header, len(req.Header)),
-		Rules:  rules,
+		Policy: rules,
 	}
 	connection := req.Header["Connection"]
 	for name, values := range req.Header {
--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -21,9 +21,9 @@
 	closeAfter bool   // the connection is closed after the response
 	byClass    bool   // as PROTOCOL describes: responses of endpoints are forwarded only where they succeeded
 
-	stream        *upstream.Stream // the request's body, once an attempt reads it; nil if it is buffered or not read
-	responseEdits *HeaderEdits     // of an endpoint's response
-	idleTimeout   time.Duration    // for which a client may read nothing of the response
+	stream        *upstream.RequestStream // the request's body, once an attempt reads it; nil if it is buffered or not read
+	responseEdits *HeaderEdits            // of an endpoint's response
+	idleTimeout   time.Duration           // for which a client may read nothing of the response
 
 	record     *ExchangeRecord // nil where nothing is recorded
 	status     int             // of the response
@@ -46,12 +46,12 @@
 		return false
 	}
 	x.responseEdits = &rt.ResponseEdits
-	x.idleTimeout = rt.UnsafeRules.Idle
+	x.idleTimeout = rt.UnsafeRules.IdleTimeout
 	call.Attempt = server.attemptFunc(out)
 	call.ArrivedAt = server.options.Clock.Now()
 	call.Request.Deadline += call.ArrivedAt
 	if stream := out.Stream; stream != nil {
-		call.NotReplayable = stream.Taken
+		call.NotReplayable = stream.Claimed
 		call.Request.Upload = true
 		call.Request.Deadline = call.ArrivedAt + rt.StreamTimeout.Microseconds()
 	}
@@ -95,15 +95,15 @@
 			}
 		case <-watch.gone:
 			x.abandon(call, watch)
-			if stream != nil && !stream.Take() {
-				<-stream.Over() // the attempt reads from the client until it ends
+			if stream != nil && !stream.Claim() {
+				<-stream.Done() // the attempt reads from the client until it ends
 			}
 			return false
 		}
 	}
 	watch.stop()
 	// From here on no attempt may start to read from the client: one that has been canceled might be about to.
-	attempted := stream != nil && !stream.Take()
+	attempted := stream != nil && !stream.Claim()
 	if stream != nil && !attempted {
 		x.stream = nil
 		x.closeAfter = true // the unread rest of the body precedes any next request
@@ -111,7 +111,7 @@
 	keep := x.respond(response)
 	x.server.finishExchange(x.record, call.Request.Class, &response, x.status, x.bodyLength)
 	if attempted {
-		<-stream.Over() // the attempt reads from the client until it ends
+		<-stream.Done() // the attempt reads from the client until it ends
 		keep = keep && stream.Body.Done()
 	}
 	if stream != nil && !keep {
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -62,7 +62,7 @@
 	if err := x.answerExpect(framing); err != nil {
 		return err
 	}
-	out.Sized = x.request.Header.Get("Content-Length") != ""
+	out.ExplicitLength = x.request.Header.Get("Content-Length") != ""
 	if framing.Kind == http1msg.NoBody {
 		return nil
 	}
@@ -131,7 +131,7 @@
 		}
 	}
 	c := x.conn
-	idleTimeout := rt.UnsafeRules.Idle
+	idleTimeout := rt.UnsafeRules.IdleTimeout
 	deadline := time.Now().Add(rt.StreamTimeout)
 	extendDeadline := func() {
 		readDeadline := time.Now().Add(idleTimeout)
@@ -141,8 +141,8 @@
 		c.SetReadDeadline(readDeadline)
 	}
 	interrupt := func() { c.SetReadDeadline(expiredDeadline) }
-	out.Stream = upstream.NewStream(body, length, extendDeadline, interrupt)
-	out.Stream.Most = maxBytes
+	out.Stream = upstream.NewRequestStream(body, length, extendDeadline, interrupt)
+	out.Stream.MaxBytes = maxBytes
 	return nil
 }
 
--- a/internal/frontend/http1/request_errors.go
+++ b/internal/frontend/http1/request_errors.go
@@ -83,7 +83,7 @@
 		return requestErrorf(http.StatusRequestTimeout, "the body does not come")
 	case errors.Is(err, http1msg.ErrMalformedChunk), errors.Is(err, http1msg.ErrMalformedTrailer):
 		return requestErrorf(http.StatusBadRequest, "%v", err)
-	case errors.Is(err, upstream.ErrBodyTooLong):
+	case errors.Is(err, upstream.ErrRequestBodyTooLong):
 		return requestErrorf(http.StatusRequestEntityTooLarge, "the body is larger than it may be")
 	}
 	return requestErrorf(http.StatusBadRequest, "the body is not whole")
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -33,14 +33,14 @@
 // respond writes the final response. It reports whether the connection may serve another request.
 func (x *exchange) respond(response engine.Response) bool {
 	if response.Verdict != engine.Served && x.stream != nil {
-		<-x.stream.Over()
+		<-x.stream.Done()
 		if err := x.stream.Err(); err != nil { // the client's own body failed
 			x.closeAfter = true
 			return x.writeLocal(rejectionResponse(bodyReadError(err)), proxyErrRequest)
 		}
 	}
 	if response.Result != nil && response.Result.Response != nil && (response.Verdict == engine.Served || !x.byClass) {
-		return x.forwardResponse(response.Result.Response.(*upstream.Whole))
+		return x.forwardResponse(response.Result.Response.(*upstream.Response))
 	}
 	return x.writeLocal(verdictResponse(&response))
 }
@@ -112,12 +112,12 @@
 
 // framingFor returns how the end of an endpoint's response body is marked. Where only the end of the connection can
 // mark it, the connection is closed afterwards.
-func (x *exchange) framingFor(response *upstream.Whole) outgoingFraming {
+func (x *exchange) framingFor(response *upstream.Response) outgoingFraming {
 	http10 := !x.request.ProtoAtLeast(1, 1)
-	unknownLength := response.Rest != nil && response.Framing.Kind != http1msg.FixedLength
+	unknownLength := response.Stream != nil && response.Framing.Kind != http1msg.FixedLength
 	framing := outgoingFraming{
-		noBody: x.request.Method == http.MethodHead || response.Code == http.StatusNoContent ||
-			response.Code == http.StatusNotModified,
+		noBody: x.request.Method == http.MethodHead || response.StatusCode == http.StatusNoContent ||
+			response.StatusCode == http.StatusNotModified,
 	}
 	framing.chunked = !framing.noBody && !http10 && (len(response.Trailer) > 0 || unknownLength)
 	if !framing.noBody && !framing.chunked && unknownLength {
@@ -127,30 +127,30 @@
 }
 
 // forwardResponse writes an endpoint's response. It reports whether the connection may serve another request.
-func (x *exchange) forwardResponse(response *upstream.Whole) bool {
-	buffered := response.Rest == nil
-	x.status = response.Code
-	x.bodyLength = int64(len(response.Held))
+func (x *exchange) forwardResponse(response *upstream.Response) bool {
+	buffered := response.Stream == nil
+	x.status = response.StatusCode
+	x.bodyLength = int64(len(response.Buffered))
 	if !buffered {
 		x.bodyLength = -1
 	}
 	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
 	if buffered {
-		x.server.conns.reserveBytes(x.conn, int64(len(response.Held)), true)
+		x.server.conns.reserveBytes(x.conn, int64(len(response.Buffered)), true)
 	} else {
-		defer response.Rest.End()
+		defer response.Stream.Finish()
 	}
 	connection := response.Header["Connection"] // before the edits, which may remove it
 	x.responseEdits.apply(response.Header)
 	framing := x.framingFor(response)
-	buf := make([]byte, 0, 1024+len(response.Held))
+	buf := make([]byte, 0, 1024+len(response.Buffered))
 	buf = x.appendForwardedHead(buf, response, connection, framing)
-	if !framing.noBody && len(response.Held) > 0 {
+	if !framing.noBody && len(response.Buffered) > 0 {
 		if framing.chunked {
-			buf = http1msg.AppendChunkHeader(buf, len(response.Held))
-			buf = append(append(buf, response.Held...), "\r\n"...)
+			buf = http1msg.AppendChunkHeader(buf, len(response.Buffered))
+			buf = append(append(buf, response.Buffered...), "\r\n"...)
 		} else {
-			buf = append(buf, response.Held...)
+			buf = append(buf, response.Buffered...)
 		}
 	}
 	if buffered && framing.chunked {
@@ -160,7 +160,7 @@
 	if _, err := x.conn.Write(buf); err != nil {
 		return false
 	}
-	if !buffered && !x.streamRest(response.Rest, framing.chunked) {
+	if !buffered && !x.streamRest(response.Stream, framing.chunked) {
 		return false
 	}
 	return x.server.conns.finishRequest(x.conn) && !x.closeAfter
@@ -169,15 +169,15 @@
 // appendForwardedHead appends the interim responses and the head of an endpoint's response, its empty line included.
 // connection is the Connection field of the response as the endpoint sent it.
 func (x *exchange) appendForwardedHead(
-	buf []byte, response *upstream.Whole, connection []string, framing outgoingFraming,
+	buf []byte, response *upstream.Response, connection []string, framing outgoingFraming,
 ) []byte {
 	if x.request.ProtoAtLeast(1, 1) {
 		for _, interim := range response.Interim {
-			buf = appendResponseHead(buf, interim.Code, interim.Header, interim.Header["Connection"])
+			buf = appendResponseHead(buf, interim.StatusCode, interim.Header, interim.Header["Connection"])
 			buf = append(buf, "\r\n"...)
 		}
 	}
-	buf = appendResponseHead(buf, response.Code, response.Header, connection)
+	buf = appendResponseHead(buf, response.StatusCode, response.Header, connection)
 	switch {
 	case framing.chunked:
 		buf = append(buf, "Transfer-Encoding: chunked\r\n"...)
@@ -185,11 +185,11 @@
 			buf = append(buf, "Trailer: "+strings.Join(names, ", ")+"\r\n"...)
 		}
 	case framing.noBody:
-		if n := response.Header["Content-Length"]; len(n) == 1 && response.Code != http.StatusNoContent {
+		if n := response.Header["Content-Length"]; len(n) == 1 && response.StatusCode != http.StatusNoContent {
 			buf = append(buf, "Content-Length: "+n[0]+"\r\n"...) // the length that a GET would receive
 		}
-	case response.Rest == nil:
-		buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.Held))+"\r\n"...)
+	case response.Stream == nil:
+		buf = append(buf, "Content-Length: "+strconv.Itoa(len(response.Buffered))+"\r\n"...)
 	case response.Framing.Kind == http1msg.FixedLength:
 		buf = append(buf, "Content-Length: "+strconv.FormatInt(response.Framing.Length, 10)+"\r\n"...)
 	}
@@ -201,7 +201,7 @@
 
 // streamRest copies the part of a response body that is not buffered. It reports whether the body is complete;
 // otherwise the connection has been aborted.
-func (x *exchange) streamRest(rest *upstream.Rest, chunked bool) bool {
+func (x *exchange) streamRest(rest *upstream.ResponseStream, chunked bool) bool {
 	switch err := x.streamBody(rest, chunked); err {
 	case nil:
 		return true
@@ -214,7 +214,7 @@
 
 // streamBody copies the rest of a response body as it arrives, or returns errClientWrite or errUpstreamTruncated. The
 // client's reading limits the endpoint's sending: nothing is read ahead of a write.
-func (x *exchange) streamBody(rest *upstream.Rest, chunked bool) error {
+func (x *exchange) streamBody(rest *upstream.ResponseStream, chunked bool) error {
 	buf := copyBufferPool.Get().(*[copyBufferSize]byte)
 	defer copyBufferPool.Put(buf)
 	for {
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -129,7 +129,7 @@
 		// A repetition could not be recognized.
 		return nil, nil, requestErrorf(http.StatusBadRequest, "%s is missing", rt.IdempotencyKey.Name)
 	}
-	out := &upstream.Request{Method: req.Method, Host: host, Header: endToEndHeader(req), Rules: rules}
+	out := &upstream.Request{Method: req.Method, Host: host, Header: endToEndHeader(req), Policy: rules}
 	if rt.HostOverride != "" {
 		out.Host = rt.HostOverride
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -15,7 +15,7 @@
 	var relayed uint64
 	list, err := s.core.Statistics(ctx, func() {
 		classes, open = s.front.RequestStats()
-		relayed = s.pool.Relayed()
+		relayed = s.pool.Forwarded()
 	})
 	if err != nil {
 		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -34,7 +34,7 @@
 // HandOverConnections hands idle connections to the successor, and closes idle connections to endpoints: their
 // descriptors are the successor's now.
 func (l *lifecycle) HandOverConnections(successor *takeover.Conn) {
-	l.sidecar.pool.Idle(false)
+	l.sidecar.pool.SetKeepIdle(false)
 	l.sidecar.front.SetHandoff(func(conn net.Conn) bool { return successor.HandOver(conn) == nil })
 	l.Loop.After(successorStartGrace, func() {
 		if l.SuccessorConn == successor { // else clients are served again here, or the process ends otherwise
@@ -47,7 +47,7 @@
 func (l *lifecycle) ResumeServing() {
 	l.sidecar.front.SetHandoff(nil)
 	l.sidecar.core.CancelHandover()
-	l.sidecar.pool.Idle(true)
+	l.sidecar.pool.SetKeepIdle(true)
 	l.CancelWait()
 	l.accept()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,15 +143,15 @@
 		dial = s.logDials(dial)
 	}
 	s.pool = upstream.New(upstream.Options{
-		Clock:       clk,
-		Log:         log,
-		Most:        upstreamConns(availableSockets(c)),
-		DialTimeout: clock.Duration(c.Site.Settings.Limits.DialTimeout),
-		KeepAlive:   c.Site.KeepAlive,
-		Settle:      upstream.SettleTime,
-		Fields:      c.Site.LoadReportFields,
-		OnAnswers:   c.Site.ReportsOnResponses,
-		Dial:        dial,
+		Clock:           clk,
+		Log:             log,
+		MaxConns:        upstreamConns(availableSockets(c)),
+		DialTimeout:     clock.Duration(c.Site.Settings.Limits.DialTimeout),
+		KeepAlive:       c.Site.KeepAlive,
+		ReuseDelay:      upstream.DefaultReuseDelay,
+		LoadFields:      c.Site.LoadReportFields,
+		LoadInResponses: c.Site.ReportsOnResponses,
+		Dial:            dial,
 	})
 	s.newSource()
 	var err error
@@ -182,7 +182,7 @@
 		Site:        &c.Site,
 		Core:        s.core,
 		Pool:        s.endpoints,
-		SendAttempt: s.pool.SendWhole,
+		SendAttempt: s.pool.Send,
 		Limits:      clientLimits(availableSockets(c)),
 		Log:         log,
 	})
@@ -247,7 +247,7 @@
 	beside.Go(func() { s.reloadOnSignal(ctx, reload, read) })
 	s.start = func() {
 		beside.Go(func() { s.core.Run(ctx) })
-		beside.Go(func() { s.pool.Keep(ctx) })
+		beside.Go(func() { s.pool.Run(ctx) })
 		if !s.config.Site.Settings.Subscribe {
 			s.source.SetWatching(true)
 		}
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -178,8 +178,8 @@
 		}
 	}
 	f, open := s.parts.front.RequestStats()
-	if f[2].Fulfilled != 2 || s.parts.pool.Relayed() != 2 {
-		t.Errorf("figures: %+v, %d open, %d relayed", f, open, s.parts.pool.Relayed())
+	if f[2].Fulfilled != 2 || s.parts.pool.Forwarded() != 2 {
+		t.Errorf("figures: %+v, %d open, %d relayed", f, open, s.parts.pool.Forwarded())
 	}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,47 +21,47 @@
 )
 
 const (
-	answerMost   = siteconfig.MaxBodyBytes + 64<<10 // with its head and framing
-	probeTimeout = 250 * time.Millisecond
+	maxResponseBytes = siteconfig.MaxBodyBytes + 64<<10 // with its head and framing
+	probeTimeout     = 250 * time.Millisecond
 )
 
 // Message is a request as it goes on to an endpoint, but for the time that it has left.
-type Message struct {
+type BufferedRequest struct {
 	Method, URI, Host string
 	Header            http.Header // end-to-end headers
 	Body              []byte
 }
 
 // Answer is an endpoint's 200 answer.
-type Answer struct {
+type BufferedResponse struct {
 	Header http.Header
 	Body   []byte
 }
 
 // Send makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
-func (p *Pool) Send(ctx context.Context, t *core.AttemptContext, m *Message) engine.AttemptResult {
-	c, left, status := p.ready(ctx, t)
+func (p *Pool) SendBuffered(ctx context.Context, t *core.AttemptContext, m *BufferedRequest) engine.AttemptResult {
+	c, left, status := p.acquire(ctx, t)
 	if c == nil {
-		return p.ended(status)
+		return p.result(status)
 	}
-	return p.exchange(ctx, c, m.bytes(left), &p.relayed, func(keep bool) { p.release(c, t, keep) })
+	return p.roundTrip(ctx, c, m.encode(left), &p.forwarded, func(keep bool) { p.release(c, t, keep) })
 }
 
 // ready returns a connection for an attempt that may go now, and the milliseconds that are left for it; or none, and
 // what has come of the attempt.
-func (p *Pool) ready(ctx context.Context, t *core.AttemptContext) (c *Conn, leftMs int64, status balancer.Status) {
+func (p *Pool) acquire(ctx context.Context, t *core.AttemptContext) (c *Conn, leftMs int64, status balancer.Status) {
 	c, err := p.Get(ctx, t.Target.(*Target))
 	if err != nil {
-		return nil, 0, p.NoConn(ctx, err)
+		return nil, 0, p.noConnStatus(ctx, err)
 	}
 	if t.OnAbort != nil && !t.OnAbort(func() { c.Conn.Close() }) {
-		p.unused(c, t)
+		p.releaseUnused(c, t)
 		return nil, 0, balancer.NotSent
 	}
-	now := p.o.Clock.Now()
+	now := p.options.Clock.Now()
 	leftMs = (t.Deadline - now) / 1000
 	if leftMs < 1 || !t.ClaimSend(now) {
-		p.unused(c, t)
+		p.releaseUnused(c, t)
 		return nil, 0, balancer.NotSent
 	}
 	return c, leftMs, balancer.OK
@@ -80,12 +80,12 @@
 }
 
 // unused ends an attempt's use of a connection on which nothing was written.
-func (p *Pool) unused(c *Conn, t *core.AttemptContext) {
+func (p *Pool) releaseUnused(c *Conn, t *core.AttemptContext) {
 	if t.ReleaseConn != nil && !t.ReleaseConn() {
 		p.Discard(c)
 		return
 	}
-	p.back(c)
+	p.putUnused(c)
 }
 
 // Probe asks an endpoint for its load, or for its health where there are no load reports.
@@ -94,143 +94,143 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	// A probe may go where a second answer may still come: it is known by its report.
-	c, _, err := p.get(ctx, to, true)
+	c, _, err := p.getConn(ctx, to, true)
 	if err != nil {
-		return p.ended(p.NoConn(ctx, err))
+		return p.result(p.noConnStatus(ctx, err))
 	}
-	answered := c.answered
-	m := Message{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
-	if len(p.o.Fields) > 0 {
+	answered := c.lastResponse
+	m := BufferedRequest{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
+	if len(p.options.LoadFields) > 0 {
 		m.URI = "/-/load"
 	}
 	keep := false
-	r := p.exchange(ctx, c, m.bytes(0), nil, func(whole bool) { keep = whole })
-	if r.Status == balancer.OK && len(p.o.Fields) > 0 {
-		r.Load = parseLoad(p.o.Fields, string(r.Response.(*Answer).Body))
+	r := p.roundTrip(ctx, c, m.encode(0), nil, func(whole bool) { keep = whole })
+	if r.Status == balancer.OK && len(p.options.LoadFields) > 0 {
+		r.Load = parseLoad(p.options.LoadFields, string(r.Response.(*BufferedResponse).Body))
 		keep = keep && r.Load != nil // else it was the answer to something else, perhaps, and its own may follow
 	} else {
 		answered = time.Now() // what tells nothing may have been another's
 	}
 	if keep {
-		p.put(c, answered)
+		p.putAfterResponse(c, answered)
 	} else {
 		p.Discard(c)
 	}
 	return r
 }
 
-func (p *Pool) ended(status balancer.Status) engine.AttemptResult {
-	return engine.AttemptResult{Status: status, ObservedAt: p.o.Clock.Now()}
+func (p *Pool) result(status balancer.Status) engine.AttemptResult {
+	return engine.AttemptResult{Status: status, ObservedAt: p.options.Clock.Now()}
 }
 
 // exchange writes a request and reads its answer. The connection is released, and kept if both are whole. A request that is
 // written whole is counted.
-func (p *Pool) exchange(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.AttemptResult {
+func (p *Pool) roundTrip(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.AttemptResult {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	c.limit.N = answerMost
+	c.readLimit.N = maxResponseBytes
 	n, err := c.Write(text)
 	if err != nil {
 		stop()
 		release(false)
 		if n < len(text) {
-			return p.ended(balancer.ConnectFailed) // its last byte was not written, so it never ran
+			return p.result(balancer.ConnectFailed) // its last byte was not written, so it never ran
 		}
-		return p.ended(balancer.Reset)
+		return p.result(balancer.Reset)
 	}
 	if written != nil {
 		written.Add(1)
 	}
-	a, err := c.read()
-	r := p.ended(balancer.Reset)
-	release(stop() && err == nil && !a.last && c.r.Buffered() == 0)
+	a, err := c.readResponse()
+	r := p.result(balancer.Reset)
+	release(stop() && err == nil && !a.closeAfter && c.reader.Buffered() == 0)
 	if err != nil {
 		return r
 	}
 	switch {
-	case a.code == http.StatusOK:
-		r.Status, r.Response = balancer.OK, &a.Answer
-	case (a.code == http.StatusServiceUnavailable || a.code == http.StatusGatewayTimeout) &&
+	case a.statusCode == http.StatusOK:
+		r.Status, r.Response = balancer.OK, &a.BufferedResponse
+	case (a.statusCode == http.StatusServiceUnavailable || a.statusCode == http.StatusGatewayTimeout) &&
 		a.Header.Get("X-Never-Ran") == "1":
 		r.Status = balancer.Rejected
 	default:
 		r.Status = balancer.Error
 	}
-	if p.o.OnAnswers {
-		r.Load = parseLoad(p.o.Fields, a.Header.Get("Endpoint-Load-Metrics"))
+	if p.options.LoadInResponses {
+		r.Load = parseLoad(p.options.LoadFields, a.Header.Get("Endpoint-Load-Metrics"))
 	}
 	return r
 }
 
 const (
-	interimMost = 8                      // answers 1xx ahead of the one that counts
-	stallMost   = 100 * time.Millisecond // an answer that has begun is whole within this
+	maxInterimResponses = 8                      // answers 1xx ahead of the one that counts
+	maxResponseStall    = 100 * time.Millisecond // an answer that has begun is whole within this
 )
 
 var (
-	errNotWhole = errors.New("nothing tells for sure where the answer ends")
-	errTooLarge = errors.New("the answer is too large")
-	errNoHTTP   = errors.New("the answer is no HTTP/1")
+	errAmbiguousLength   = errors.New("nothing tells for sure where the answer ends")
+	errResponseTooLarge  = errors.New("the answer is too large")
+	errMalformedResponse = errors.New("the answer is no HTTP/1")
 )
 
 // got is a whole answer.
-type got struct {
-	Answer
-	code int
-	last bool // the endpoint closes the connection after it
+type parsedResponse struct {
+	BufferedResponse
+	statusCode int
+	closeAfter bool // the endpoint closes the connection after it
 }
 
 // read reads a whole answer. One that ends early, whose end is told in two ways, or that only the end of the
 // connection ends, is an error: nothing but what the endpoint made for the request may pass for its answer.
 // http.ReadResponse would hide that it had both a length and chunks.
-func (c *Conn) read() (*got, error) {
-	for range interimMost {
+func (c *Conn) readResponse() (*parsedResponse, error) {
+	for range maxInterimResponses {
 		c.SetReadDeadline(time.Time{})
-		if _, err := c.r.Peek(1); err != nil {
+		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		c.SetReadDeadline(time.Now().Add(stallMost))
-		a, err := c.head()
+		c.SetReadDeadline(time.Now().Add(maxResponseStall))
+		a, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
-		if a.code < 200 {
+		if a.statusCode < 200 {
 			continue
 		}
-		a.Body, err = c.body(a)
+		a.Body, err = c.readBody(a)
 		c.SetReadDeadline(time.Time{})
 		return a, err
 	}
-	return nil, errTooLarge
+	return nil, errResponseTooLarge
 }
 
 // head reads a status line and headers.
-func (c *Conn) head() (*got, error) {
-	text := textproto.NewReader(c.r)
+func (c *Conn) readHead() (*parsedResponse, error) {
+	text := textproto.NewReader(c.reader)
 	line, err := text.ReadLine()
 	if err != nil {
 		return nil, err
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
-	a := &got{}
-	if a.code, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.code < 100 ||
+	a := &parsedResponse{}
+	if a.statusCode, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.statusCode < 100 ||
 		version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return nil, errNoHTTP
+		return nil, errMalformedResponse
 	}
 	header, err := text.ReadMIMEHeader()
 	if err != nil {
 		return nil, err
 	}
 	a.Header = http.Header(header)
-	a.last = version == "HTTP/1.0"
+	a.closeAfter = version == "HTTP/1.0"
 	for _, v := range a.Header["Connection"] {
-		a.last = a.last || strings.Contains(strings.ToLower(v), "close")
+		a.closeAfter = a.closeAfter || strings.Contains(strings.ToLower(v), "close")
 	}
 	return a, nil
 }
 
 // body reads what the head announces.
-func (c *Conn) body(a *got) ([]byte, error) {
+func (c *Conn) readBody(a *parsedResponse) ([]byte, error) {
 	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
 	switch {
 	case len(lengths) == 1 && len(encodings) == 0:
@@ -239,28 +239,28 @@
 			return nil, err
 		}
 		if n > siteconfig.MaxBodyBytes {
-			return nil, errTooLarge
+			return nil, errResponseTooLarge
 		}
 		body := make([]byte, n)
-		_, err = io.ReadFull(c.r, body)
+		_, err = io.ReadFull(c.reader, body)
 		return body, err
 	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), siteconfig.MaxBodyBytes+1))
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), siteconfig.MaxBodyBytes+1))
 		if err == nil && len(body) > siteconfig.MaxBodyBytes {
-			err = errTooLarge
+			err = errResponseTooLarge
 		}
 		if err == nil {
-			_, err = textproto.NewReader(c.r).ReadMIMEHeader() // the trailer
+			_, err = textproto.NewReader(c.reader).ReadMIMEHeader() // the trailer
 		}
 		return body, err
-	case len(lengths) == 0 && len(encodings) == 0 && (a.code == http.StatusNoContent || a.code == http.StatusNotModified):
+	case len(lengths) == 0 && len(encodings) == 0 && (a.statusCode == http.StatusNoContent || a.statusCode == http.StatusNotModified):
 		return nil, nil
 	}
-	return nil, errNotWhole
+	return nil, errAmbiguousLength
 }
 
 // head begins a request, up to the fields that frame its body, with the time that is left for it in a header, if any.
-func (m *Message) head(deadline string, leftMs int64) *bytes.Buffer {
+func (m *BufferedRequest) encodeHead(deadline string, leftMs int64) *bytes.Buffer {
 	b := &bytes.Buffer{}
 	b.Grow(512 + len(m.Body))
 	b.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
@@ -272,8 +272,8 @@
 }
 
 // bytes writes the request in one piece, with the time that is left for it in milliseconds, if any.
-func (m *Message) bytes(leftMs int64) []byte {
-	b := m.head("X-Expires-In-Ms", leftMs)
+func (m *BufferedRequest) encode(leftMs int64) []byte {
+	b := m.encodeHead("X-Expires-In-Ms", leftMs)
 	if len(m.Body) > 0 || m.Method != http.MethodGet {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -43,55 +43,55 @@
 
 // newPool returns a pool with edits to its usual options.
 func newPool(edits ...func(*Options)) *Pool {
-	o := Options{Clock: clock.New(), Log: scriptedpeer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, Most: 504,
-		Fields: []string{"busy_reqs", "served_ps", "cpu_share"}}
+	o := Options{Clock: clock.New(), Log: scriptedpeer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, MaxConns: 504,
+		LoadFields: []string{"busy_reqs", "served_ps", "cpu_share"}}
 	for _, edit := range edits {
 		edit(&o)
 	}
 	return New(o)
 }
 
-func (p *Pool) at(addr string) *Target { return p.Target(addr).(*Target) }
+func (p *Pool) newTarget(addr string) *Target { return p.Target(addr).(*Target) }
 
 // try makes one attempt with a second of time.
-func (p *Pool) try(m *Message, to core.Target) engine.AttemptResult {
+func (p *Pool) sendOnce(m *BufferedRequest, to core.Target) engine.AttemptResult {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
 	defer cancel()
-	return p.Send(ctx, &core.AttemptContext{Target: to, Deadline: p.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, m)
+	return p.SendBuffered(ctx, &core.AttemptContext{Target: to, Deadline: p.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, m)
 }
 
-func keyed(body string) *Message {
-	return &Message{Method: "POST", URI: "/book", Host: "origin.svc", Body: []byte(body),
+func idempotentPost(body string) *BufferedRequest {
+	return &BufferedRequest{Method: "POST", URI: "/book", Host: "origin.svc", Body: []byte(body),
 		Header: http.Header{"X-Trace-Id": {"1"}, "Idempotency-Key": {"k"}}}
 }
 
-func plainGet() *Message {
-	return &Message{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{"X-Trace-Id": {"1"}}}
+func plainGet() *BufferedRequest {
+	return &BufferedRequest{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{"X-Trace-Id": {"1"}}}
 }
 
-const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // Each Send is at most one attempt on the wire, also for requests that an http.Transport would send again:
 // those of a kept connection that breaks after the request was read.
-func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
-	for name, m := range map[string]*Message{"get": plainGet(), "keyed": keyed("x")} {
+func TestBrokenIdleConnectionIsNotResent(t *testing.T) {
+	for name, m := range map[string]*BufferedRequest{"get": plainGet(), "keyed": idempotentPost("x")} {
 		t.Run(name, func(t *testing.T) {
 			var taken atomic.Int32
 			u := newPool()
-			to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				for i := 0; i < 2; i++ {
 					if _, err := scriptedpeer.Take(r); err != nil {
 						return
 					}
 					if taken.Add(1); i == 0 {
-						io.WriteString(c, okAnswer)
+						io.WriteString(c, okResponse)
 					}
 				}
 			}))
-			if r := u.try(m, to); r.Status != balancer.OK {
+			if r := u.sendOnce(m, to); r.Status != balancer.OK {
 				t.Fatalf("first: status %v", r.Status)
 			}
-			if r := u.try(m, to); r.Status != balancer.Reset {
+			if r := u.sendOnce(m, to); r.Status != balancer.Reset {
 				t.Errorf("second: status %v, want Reset", r.Status)
 			}
 			if n := taken.Load(); n != 2 {
@@ -102,15 +102,15 @@
 }
 
 // short is a connection that breaks before the last bytes of a write, or right after them.
-type short struct {
+type truncatingConn struct {
 	net.Conn
-	lack  int
-	after bool
+	missing int
+	after   bool
 }
 
-func (s short) Write(p []byte) (int, error) {
-	n, err := s.Conn.Write(p[:max(0, len(p)-s.lack)])
-	if s.lack > 0 || s.after {
+func (s truncatingConn) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p[:max(0, len(p)-s.missing)])
+	if s.missing > 0 || s.after {
 		err = net.ErrClosed
 	}
 	return n, err
@@ -122,7 +122,7 @@
 		scriptedpeer.Take(r)
 		c.SetLinger(0) // breaks with a reset
 	})
-	m := keyed(strings.Repeat("x", 1000))
+	m := idempotentPost(strings.Repeat("x", 1000))
 	for _, tc := range []struct {
 		name  string
 		lack  int
@@ -136,18 +136,18 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			u := newPool()
-			dial := u.o.Dial
-			u.o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dial := u.options.Dial
+			u.options.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				c, err := dial(ctx, network, addr)
-				return short{c, tc.lack, tc.after}, err
+				return truncatingConn{c, tc.lack, tc.after}, err
 			}
-			if r := u.try(m, u.at(addr)); r.Status != tc.want {
+			if r := u.sendOnce(m, u.newTarget(addr)); r.Status != tc.want {
 				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
 		})
 	}
 	u := newPool()
-	if r := u.try(m, u.at(scriptedpeer.Nowhere(t))); r.Status != balancer.ConnectFailed {
+	if r := u.sendOnce(m, u.newTarget(scriptedpeer.Nowhere(t))); r.Status != balancer.ConnectFailed {
 		t.Errorf("refused connection: status %v, want ConnectFailed", r.Status)
 	}
 }
@@ -159,9 +159,9 @@
 		name, answer string
 		want         balancer.Status
 	}{
-		{"whole", okAnswer, balancer.OK},
+		{"whole", okResponse, balancer.OK},
 		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balancer.OK},
-		{"after a 100", "HTTP/1.1 100 Continue\r\n\r\n" + okAnswer, balancer.OK},
+		{"after a 100", "HTTP/1.1 100 Continue\r\n\r\n" + okResponse, balancer.OK},
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", balancer.Error},
 		{"turned away", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Rejected},
 		{"late", "HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Rejected},
@@ -181,11 +181,11 @@
 		{"wrong chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n", balancer.Reset},
 		{"no status", "HTTP/1.1 OK\r\nContent-Length: 2\r\n\r\nok", balancer.Reset},
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
-		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*interimMost), balancer.Reset},
-		{"unreadable report", strings.Replace(okAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
+		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*maxInterimResponses), balancer.Reset},
+		{"unreadable report", strings.Replace(okResponse, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
 		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", siteconfig.MaxBodyBytes+1,
 			strings.Repeat("x", siteconfig.MaxBodyBytes+1)), balancer.Reset},
-		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
+		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseBytes), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
@@ -193,12 +193,12 @@
 				io.WriteString(c, tc.answer)
 			})
 			u := newPool()
-			r := u.try(keyed("x"), u.at(addr))
+			r := u.sendOnce(idempotentPost("x"), u.newTarget(addr))
 			if r.Status != tc.want {
 				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
-			if r.Status == balancer.OK && string(r.Response.(*Answer).Body) != "ok" {
-				t.Errorf("body %q", r.Response.(*Answer).Body)
+			if r.Status == balancer.OK && string(r.Response.(*BufferedResponse).Body) != "ok" {
+				t.Errorf("body %q", r.Response.(*BufferedResponse).Body)
 			}
 		})
 	}
@@ -219,10 +219,10 @@
 			r.ReadByte()
 		})
 		u, begun := newPool(), time.Now()
-		if r := u.try(keyed("x"), u.at(addr)); r.Status != balancer.Reset || time.Since(begun) > 5*stallMost {
+		if r := u.sendOnce(idempotentPost("x"), u.newTarget(addr)); r.Status != balancer.Reset || time.Since(begun) > 5*maxResponseStall {
 			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.Status, time.Since(begun))
 		}
-		if u.conns != 0 {
+		if u.openConns != 0 {
 			t.Errorf("%q: its connection is kept", answer)
 		}
 	}
@@ -233,11 +233,11 @@
 	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		scriptedpeer.Take(r)
 		io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n")
-		time.Sleep(2 * stallMost) // the work, not a wait for another
-		io.WriteString(c, okAnswer)
+		time.Sleep(2 * maxResponseStall) // the work, not a wait for another
+		io.WriteString(c, okResponse)
 	})
 	u := newPool()
-	if r := u.try(keyed("x"), u.at(addr)); r.Status != balancer.OK {
+	if r := u.sendOnce(idempotentPost("x"), u.newTarget(addr)); r.Status != balancer.OK {
 		t.Errorf("status %v, want OK", r.Status)
 	}
 }
@@ -256,12 +256,12 @@
 		}
 	})
 	u := newPool()
-	to := u.at(addr)
+	to := u.newTarget(addr)
 	for i := range 4 {
 		m := plainGet()
 		m.Header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.try(m, to); r.Status != balancer.OK || string(r.Response.(*Answer).Body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Response.(*Answer).Body)
+		if r := u.sendOnce(m, to); r.Status != balancer.OK || string(r.Response.(*BufferedResponse).Body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Response.(*BufferedResponse).Body)
 		}
 	}
 }
@@ -270,12 +270,12 @@
 // that is gone is kept.
 func TestGoneEndpointsConnections(t *testing.T) {
 	var dials atomic.Int32
-	addr := answering(t, &dials)
+	addr := startAnsweringEndpoint(t, &dials)
 	u := newPool()
-	old, next := u.at(addr), u.at(addr)
+	old, next := u.newTarget(addr), u.newTarget(addr)
 	ctx := context.Background()
-	u.try(plainGet(), old)
-	if u.try(plainGet(), next); dials.Load() != 2 {
+	u.sendOnce(plainGet(), old)
+	if u.sendOnce(plainGet(), next); dials.Load() != 2 {
 		t.Errorf("%d connections to two endpoints at one address, want 2", dials.Load())
 	}
 	out, err := u.Get(ctx, old)
@@ -284,46 +284,46 @@
 	}
 	old.Drop()
 	u.Put(out)
-	if u.conns != 1 || len(old.idle) != 0 {
-		t.Errorf("%d connections open, %d idle to what is gone, want 1 and 0", u.conns, len(old.idle))
+	if u.openConns != 1 || len(old.idle) != 0 {
+		t.Errorf("%d connections open, %d idle to what is gone, want 1 and 0", u.openConns, len(old.idle))
 	}
-	if r := u.try(plainGet(), old); r.Status != balancer.NotSent {
+	if r := u.sendOnce(plainGet(), old); r.Status != balancer.NotSent {
 		t.Errorf("status %v for what is gone, want Moot", r.Status)
 	}
-	late := u.at(addr)
-	dial := u.o.Dial
-	u.o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	late := u.newTarget(addr)
+	dial := u.options.Dial
+	u.options.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		late.Drop()
 		return dial(ctx, network, addr)
 	}
-	if r := u.try(plainGet(), late); r.Status != balancer.NotSent || u.conns != 1 {
-		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.Status, u.conns)
+	if r := u.sendOnce(plainGet(), late); r.Status != balancer.NotSent || u.openConns != 1 {
+		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.Status, u.openConns)
 	}
 }
 
 // Our own shortage is no fault of the endpoint's.
 func TestShortageIsNoFault(t *testing.T) {
 	u := newPool()
-	to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
-	u.o.Most = 0
-	if r := u.try(plainGet(), to); r.Status != balancer.NotSent {
+	to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	u.options.MaxConns = 0
+	if r := u.sendOnce(plainGet(), to); r.Status != balancer.NotSent {
 		t.Errorf("all connections in use: status %v, want Moot", r.Status)
 	}
-	u.o.Most = 1
+	u.options.MaxConns = 1
 	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
-		u.o.Dial = func(context.Context, string, string) (net.Conn, error) {
+		u.options.Dial = func(context.Context, string, string) (net.Conn, error) {
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", e)}
 		}
-		if r := u.try(plainGet(), to); r.Status != balancer.NotSent {
+		if r := u.sendOnce(plainGet(), to); r.Status != balancer.NotSent {
 			t.Errorf("%v: status %v, want Moot", e, r.Status)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	u.o.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+	u.options.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.Send(ctx, &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, plainGet())
+	r := u.SendBuffered(ctx, &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, plainGet())
 	if r.Status != balancer.NotSent {
 		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
 	}
@@ -335,14 +335,14 @@
 	closed := make(chan struct{}, 1)
 	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		scriptedpeer.Take(r)
-		io.WriteString(c, okAnswer)
+		io.WriteString(c, okResponse)
 		c.Close()
 		closed <- struct{}{}
 	})
 	u := newPool()
-	to := u.at(addr)
+	to := u.newTarget(addr)
 	for i := range 3 {
-		if r := u.try(plainGet(), to); r.Status != balancer.OK {
+		if r := u.sendOnce(plainGet(), to); r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
 		scriptedpeer.Within(t, closed, "close")
@@ -350,14 +350,14 @@
 }
 
 // answering is an endpoint that answers all that comes, and counts its connections.
-func answering(t *testing.T, dials *atomic.Int32) string {
+func startAnsweringEndpoint(t *testing.T, dials *atomic.Int32) string {
 	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
 			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
-			io.WriteString(c, okAnswer)
+			io.WriteString(c, okResponse)
 		}
 	})
 }
@@ -365,35 +365,35 @@
 // An idle connection is retired well before the endpoint would close it, and the sweep closes it.
 func TestIdleConnectionIsRetired(t *testing.T) {
 	var dials atomic.Int32
-	addr := answering(t, &dials)
+	addr := startAnsweringEndpoint(t, &dials)
 	u := newPool()
-	to := u.at(addr)
-	if most := 12 * time.Second; u.idleMost > most {
-		t.Errorf("kept idle for %v where the endpoint closes after 15 s", u.idleMost)
+	to := u.newTarget(addr)
+	if most := 12 * time.Second; u.maxIdleTime > most {
+		t.Errorf("kept idle for %v where the endpoint closes after 15 s", u.maxIdleTime)
 	}
 	age := func() {
 		for _, c := range to.idle {
-			c.idle = c.idle.Add(-u.idleMost)
+			c.idleSince = c.idleSince.Add(-u.maxIdleTime)
 		}
 	}
-	u.try(plainGet(), to)
-	u.try(plainGet(), to)
+	u.sendOnce(plainGet(), to)
+	u.sendOnce(plainGet(), to)
 	if n := dials.Load(); n != 1 {
 		t.Fatalf("%d connections for two requests in turn, want 1", n)
 	}
 	age()
-	u.try(plainGet(), to)
+	u.sendOnce(plainGet(), to)
 	if n := dials.Load(); n != 2 {
 		t.Errorf("%d connections after one grew old, want 2", n)
 	}
 	age()
-	if u.sweep(); u.conns != 0 {
-		t.Errorf("%d connections open after the sweep, want 0", u.conns)
+	if u.sweep(); u.openConns != 0 {
+		t.Errorf("%d connections open after the sweep, want 0", u.openConns)
 	}
 }
 
 // taken takes a connection.
-func (p *Pool) taken(t *testing.T, to *Target) *Conn {
+func (p *Pool) mustGet(t *testing.T, to *Target) *Conn {
 	t.Helper()
 	c, err := p.Get(context.Background(), to)
 	if err != nil {
@@ -406,24 +406,24 @@
 // while, and it is not used beyond its age for that, nor before one used later.
 func TestUnusedConnectionKeepsItsAge(t *testing.T) {
 	var dials atomic.Int32
-	addr := answering(t, &dials)
+	addr := startAnsweringEndpoint(t, &dials)
 	u := newPool()
-	to := u.at(addr)
-	u.try(plainGet(), to)
-	to.idle[0].idle = to.idle[0].idle.Add(-u.idleMost * 3 / 4)
-	used := to.idle[0].idle
-	r := u.Send(context.Background(), &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return false }}, plainGet())
-	if r.Status != balancer.NotSent || len(to.idle) != 1 || !to.idle[0].idle.Equal(used) {
-		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idle, used)
-	}
-	old, fresh := u.taken(t, to), u.taken(t, to)
+	to := u.newTarget(addr)
+	u.sendOnce(plainGet(), to)
+	to.idle[0].idleSince = to.idle[0].idleSince.Add(-u.maxIdleTime * 3 / 4)
+	used := to.idle[0].idleSince
+	r := u.SendBuffered(context.Background(), &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return false }}, plainGet())
+	if r.Status != balancer.NotSent || len(to.idle) != 1 || !to.idle[0].idleSince.Equal(used) {
+		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idleSince, used)
+	}
+	old, fresh := u.mustGet(t, to), u.mustGet(t, to)
 	u.Put(fresh)
-	u.back(old)
-	if u.taken(t, to) != fresh {
+	u.putUnused(old)
+	if u.mustGet(t, to) != fresh {
 		t.Error("one put back unused went before one used later")
 	}
 	u.Put(fresh)
-	old.idle = old.idle.Add(-u.idleMost / 2)
+	old.idleSince = old.idleSince.Add(-u.maxIdleTime / 2)
 	if u.sweep(); len(to.idle) != 1 || to.idle[0] != fresh {
 		t.Errorf("%d idle connections after the old one's time", len(to.idle))
 	}
@@ -433,11 +433,11 @@
 func TestLatestConnectionFirst(t *testing.T) {
 	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
 	u := newPool()
-	to := u.at(addr)
-	first, second := u.taken(t, to), u.taken(t, to)
+	to := u.newTarget(addr)
+	first, second := u.mustGet(t, to), u.mustGet(t, to)
 	u.Put(first)
 	u.Put(second)
-	if u.taken(t, to) != second {
+	if u.mustGet(t, to) != second {
 		t.Error("the connection used last was not taken")
 	}
 }
@@ -445,9 +445,9 @@
 // Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
 func TestConnectionsAreBounded(t *testing.T) {
 	u := newPool()
-	one := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
-	two := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
-	u.o.Most = 2
+	one := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	two := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	u.options.MaxConns = 2
 	ctx := context.Background()
 	a, err := u.Get(ctx, one)
 	if err != nil {
@@ -456,23 +456,23 @@
 	if _, err := u.Get(ctx, one); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := u.Get(ctx, two); err != errNoRoom {
-		t.Fatalf("third connection: error %v, want %v", err, errNoRoom)
+	if _, err := u.Get(ctx, two); err != errConnLimit {
+		t.Fatalf("third connection: error %v, want %v", err, errConnLimit)
 	}
 	u.Put(a)
 	if _, err := u.Get(ctx, two); err != nil {
 		t.Errorf("third connection with one idle: %v", err)
 	}
-	if u.conns != 2 {
-		t.Errorf("%d connections counted, want 2", u.conns)
+	if u.openConns != 2 {
+		t.Errorf("%d connections counted, want 2", u.openConns)
 	}
 	// One that is refused gives its place back.
-	u.o.Most = 3
-	if _, err := u.Get(ctx, u.at(scriptedpeer.Nowhere(t))); err == nil {
+	u.options.MaxConns = 3
+	if _, err := u.Get(ctx, u.newTarget(scriptedpeer.Nowhere(t))); err == nil {
 		t.Error("a connection to nobody")
 	}
-	if u.conns != 2 {
-		t.Errorf("%d connections counted after one refused, want 2", u.conns)
+	if u.openConns != 2 {
+		t.Errorf("%d connections counted after one refused, want 2", u.openConns)
 	}
 }
 
@@ -487,11 +487,11 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 	})
-	r := newPool().at(addr).Probe()
+	r := newPool().newTarget(addr).Probe()
 	if got := fmt.Sprint(r.Status, r.Load); got != "0 [7 2 0.61]" {
 		t.Errorf("probe: status and load %s, want 0 [7 2 0.61]", got)
 	}
-	r = newPool(func(o *Options) { o.Fields = nil }).at(addr).Probe()
+	r = newPool(func(o *Options) { o.LoadFields = nil }).newTarget(addr).Probe()
 	if r.Status != balancer.OK || r.Load != nil {
 		t.Errorf("probe without reports: status %v, load %v", r.Status, r.Load)
 	}
@@ -501,7 +501,7 @@
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	if r := newPool().at(mute).Probe(); r.Status == balancer.OK {
+	if r := newPool().newTarget(mute).Probe(); r.Status == balancer.OK {
 		t.Error("a probe that nobody answered is ok")
 	}
 	if err := scriptedpeer.Within(t, ended, "end of a mute probe"); err == nil {
@@ -517,35 +517,35 @@
 	var conns []*Conn
 	for range 5 {
 		addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
-		c, err := u.Get(ctx, u.at(addr))
+		c, err := u.Get(ctx, u.newTarget(addr))
 		if err != nil {
 			t.Fatal(err)
 		}
 		conns = append(conns, c)
 	}
-	u.Rest("a", 1.2)
-	u.Rest("b", 2.1)
+	u.LimitIdle("a", 1.2)
+	u.LimitIdle("b", 2.1)
 	for _, c := range conns {
 		u.Put(c)
 	}
-	if u.conns != 3 || u.resting != 3 {
-		t.Errorf("%d open, %d at rest, want 3", u.conns, u.resting)
+	if u.openConns != 3 || u.idleConns != 3 {
+		t.Errorf("%d open, %d at rest, want 3", u.openConns, u.idleConns)
 	}
 	for i, c := range conns {
-		if kept := len(c.to.idle) == 1; kept != (i >= 2) {
+		if kept := len(c.target.idle) == 1; kept != (i >= 2) {
 			t.Errorf("connection %d is kept: %v", i, kept)
 		}
 	}
-	u.Rest("b", 0)
-	if u.conns != 1 || u.resting != 1 {
-		t.Errorf("%d open, %d at rest after a tighter bound, want 1", u.conns, u.resting)
+	u.LimitIdle("b", 0)
+	if u.openConns != 1 || u.idleConns != 1 {
+		t.Errorf("%d open, %d at rest after a tighter bound, want 1", u.openConns, u.idleConns)
 	}
-	if got, err := u.Get(ctx, conns[4].to); err != nil || got != conns[4] || u.resting != 0 {
-		t.Errorf("the one kept is not used again (error %v, %d at rest)", err, u.resting)
+	if got, err := u.Get(ctx, conns[4].target); err != nil || got != conns[4] || u.idleConns != 0 {
+		t.Errorf("the one kept is not used again (error %v, %d at rest)", err, u.idleConns)
 	}
-	whole := newPool().idleMost
-	if u.Rest("a", 0.25); u.idleMost != whole/4 || u.restMost != 1 {
-		t.Errorf("a quarter of a connection: %d for %v, want one for %v", u.restMost, u.idleMost, whole/4)
+	whole := newPool().maxIdleTime
+	if u.LimitIdle("a", 0.25); u.maxIdleTime != whole/4 || u.maxIdle != 1 {
+		t.Errorf("a quarter of a connection: %d for %v, want one for %v", u.maxIdle, u.maxIdleTime, whole/4)
 	}
 }
 
@@ -554,28 +554,28 @@
 func TestLateSecondAnswer(t *testing.T) {
 	for name, send := range map[string]func(u *Pool, to core.Target) (balancer.Status, string){
 		"exchange": func(u *Pool, to core.Target) (balancer.Status, string) {
-			r := u.try(plainGet(), to)
-			a, _ := r.Response.(*Answer)
+			r := u.sendOnce(plainGet(), to)
+			a, _ := r.Response.(*BufferedResponse)
 			if a == nil {
 				return r.Status, ""
 			}
 			return r.Status, string(a.Body)
 		},
 		"whole": func(u *Pool, to core.Target) (balancer.Status, string) {
-			r := u.SendWhole(context.Background(), &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
-				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
-			a, _ := r.Response.(*Whole)
+			r := u.Send(context.Background(), &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
+				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Policy: &ResponsePolicy{MaxBuffered: 1 << 10}})
+			a, _ := r.Response.(*Response)
 			if a == nil {
 				return r.Status, ""
 			}
-			return r.Status, string(a.Held)
+			return r.Status, string(a.Buffered)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			const settle = 300 * time.Millisecond // long beside a pause of the machine
-			u := newPool(func(o *Options) { o.Settle = settle })
+			u := newPool(func(o *Options) { o.ReuseDelay = settle })
 			var conns atomic.Int32
-			to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				mine := conns.Add(1)
 				for first := true; ; first = false {
 					if _, err := scriptedpeer.Take(r); err != nil {
@@ -602,8 +602,8 @@
 			}
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			if u.conns != len(to.idle) {
-				t.Errorf("%d connections open, %d at rest", u.conns, len(to.idle))
+			if u.openConns != len(to.idle) {
+				t.Errorf("%d connections open, %d at rest", u.openConns, len(to.idle))
 			}
 		})
 	}
@@ -615,23 +615,23 @@
 	var tried atomic.Int32
 	const settle = 100 * time.Millisecond
 	u := newPool(func(o *Options) {
-		o.Settle = settle
+		o.ReuseDelay = settle
 		o.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 			tried.Add(1)
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
 	})
-	to := u.at(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
 			if _, err := scriptedpeer.Take(r); err != nil {
 				return
 			}
-			io.WriteString(c, okAnswer)
+			io.WriteString(c, okResponse)
 		}
 	}))
 	send := func(ctx context.Context) engine.AttemptResult {
-		return u.SendWhole(ctx, &core.AttemptContext{Target: to, Deadline: u.o.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
-			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Rules: &Rules{Hold: 1 << 10}})
+		return u.Send(ctx, &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
+			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Policy: &ResponsePolicy{MaxBuffered: 1 << 10}})
 	}
 	for i := range 4 {
 		begun := time.Now()
