--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -206,7 +206,7 @@
 	return peer, err
 }
 
-// Held is what is held for one client.
+// ClientUsage is what is held for one client.
 type ClientUsage struct {
 	Client      string
 	Connections int
--- a/internal/engine/maintenance.go
+++ b/internal/engine/maintenance.go
@@ -103,7 +103,7 @@
 	return open
 }
 
-// MaintenanceFacts returns the state of all machines as this instance sees them: the capacity of each by its weight,
+// MaintenanceStatus returns the state of all machines as this instance sees them: the capacity of each by its weight,
 // and how much of that is in use. Without load reports that carry the utilization, the use is 0.
 func (x *Engine) MaintenanceStatus(now monotime.Micros) (facts maintenance.FleetStatus) {
 	for _, p := range x.pools {
--- a/internal/experiment/agree.go
+++ b/internal/experiment/agree.go
@@ -49,7 +49,7 @@
 	return 0.01
 }
 
-// Agree plays a scenario for real, and in the model several times for each seed with other lots, and tells whether the
+// CompareWithProcesses plays a scenario for real, and in the model several times for each seed with other lots, and tells whether the
 // mean of the real runs lies where the model says.
 func (r *Runner) CompareWithProcesses(ctx context.Context, s *scenario.Scenario, v *Variant, daemon string, seeds, decisionSeeds int, log io.Writer) (*Agreement, error) {
 	a := &Agreement{Scenario: s, Seeds: seeds, DecisionSeeds: decisionSeeds}
--- a/internal/experiment/claim/claim.go
+++ b/internal/experiment/claim/claim.go
@@ -77,7 +77,7 @@
 	return claim, nil
 }
 
-// Names returns the figures that it speaks of.
+// Figures returns the figures that it speaks of.
 func (c *Claim) Figures() []string {
 	var names []string
 	var ofSum func(s *sum)
@@ -180,7 +180,7 @@
 
 func (v Verdict) String() string { return verdictNames[v] }
 
-// Judgement is a claim judged by runs.
+// Evaluation is a claim judged by runs.
 type Evaluation struct {
 	Claim   string
 	Verdict Verdict
@@ -189,7 +189,7 @@
 	Margin  stats.Interval // by how much it holds; less than nothing is that it does not
 }
 
-// Judge judges a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each run, what
+// Evaluate judges a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each run, what
 // compares sizes on average: the margin's interval tells whether that is sure.
 func (c *Claim) Evaluate(runs []map[string]float64, confidence float64) Evaluation {
 	j := Evaluation{Claim: c.Text}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -17,7 +17,7 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// Faulted is a scenario that was played by real processes, and how its claims stand.
+// FaultRun is a scenario that was played by real processes, and how its claims stand.
 type FaultRun struct {
 	Result      *measure.Result
 	Claims      []claim.Evaluation
@@ -25,7 +25,7 @@
 	EvidenceDir string // the folder with the evidence of a failed run; "" is none
 }
 
-// Faults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by that one
+// RunWithFaults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by that one
 // run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder of its own
 // below keep: the plan's scenario, the settings, what the processes logged, and all that it came to. Every other instance is a
 // process of beside, where that is given.
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -179,7 +179,7 @@
 // fitBins is how many places the shape of a fitted scenario has at most.
 const maxShapePoints = 60
 
-// Fit returns a scenario with what a record tells of clients: their rate and its shape, classes, tenants, instances, how
+// FitScenario returns a scenario with what a record tells of clients: their rate and its shape, classes, tenants, instances, how
 // they try again, and how long requests take while little is going on. All else is the base's. notes says what it rests on.
 func FitScenario(base *scenario.Scenario, rec *accesslog.Recording) (s *scenario.Scenario, notes []string, err error) {
 	operations := rec.Stories()
@@ -341,7 +341,7 @@
 
 func microsToDuration(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// Recorder has a run write an access record to a folder, as its instances would. Close what it returns after the run.
+// NewRecorder has a run write an access record to a folder, as its instances would. Close what it returns after the run.
 func NewRecorder(dir string, j *Job) (option func(*simulation.Options), closer func(), err error) {
 	own, err := config.Parse([]byte(j.CriteriaSettings))
 	if err != nil {
--- a/internal/experiment/scale.go
+++ b/internal/experiment/scale.go
@@ -42,7 +42,7 @@
 	Env        []string // of that program, beside this one's
 }
 
-// At makes a run of a size in a process of its own, so that its memory and time are known.
+// RunSize makes a run of a size in a process of its own, so that its memory and time are known.
 func (sc *Scaling) RunSize(ctx context.Context, z Size) (*SizeRun, error) {
 	s, err := Resize(sc.Scenario, nil, z.Instances, z.Endpoints)
 	if err != nil {
--- a/internal/experiment/search.go
+++ b/internal/experiment/search.go
@@ -14,7 +14,7 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// Hunt says how a worst case is looked for.
+// SearchOptions says how a worst case is looked for.
 type SearchOptions struct {
 	Scenario  *scenario.Scenario // whose events are changed; all else of it stays
 	Variant   *Variant           // that is to do badly
@@ -24,7 +24,7 @@
 	OnFinding func(Finding) // told of each that is worse than all before; may be nil
 }
 
-// Found is a plan at which a variant does badly.
+// Finding is a plan at which a variant does badly.
 type Finding struct {
 	Scenario   *scenario.Scenario
 	Seed       uint64
@@ -50,7 +50,7 @@
 	minRemainingLoss = 0.8 // of its loss must be left in what is made small
 )
 
-// Hunt looks for the plan at which a variant does worst, and makes it small: what is left of it matters. It is a search by
+// Search looks for the plan at which a variant does worst, and makes it small: what is left of it matters. It is a search by
 // chance and by changing what is bad already: that nothing is found says little.
 func (r *Runner) Search(ctx context.Context, h SearchOptions) (*Finding, error) {
 	x := &search{SearchOptions: h, runner: r, rng: rand.New(rand.NewPCG(h.Seed, 11))}
--- a/internal/experiment/stats/stats.go
+++ b/internal/experiment/stats/stats.go
@@ -18,10 +18,10 @@
 	N    int     `json:"N"`
 }
 
-// Half is half of the interval's width.
+// HalfWidth is half of the interval's width.
 func (i Interval) HalfWidth() float64 { return (i.High - i.Low) / 2 }
 
-// T returns the mean of some numbers with Student's interval of a confidence such as 0.95. Of fewer than two numbers it
+// StudentT returns the mean of some numbers with Student's interval of a confidence such as 0.95. Of fewer than two numbers it
 // is without end.
 func StudentT(v []float64, confidence float64) Interval {
 	if len(v) < 2 {
@@ -58,7 +58,7 @@
 	return Interval{stat.Mean(v, nil), stat.Quantile(tail, stat.Empirical, means, nil), stat.Quantile(1-tail, stat.Empirical, means, nil), len(v)}
 }
 
-// Prediction returns the mean of some numbers, and the interval in which one more of their kind lies with a confidence.
+// PredictionInterval returns the mean of some numbers, and the interval in which one more of their kind lies with a confidence.
 func PredictionInterval(v []float64, confidence float64) Interval {
 	i := StudentT(v, confidence)
 	if len(v) < 2 {
@@ -69,7 +69,7 @@
 	return Interval{i.Mean, i.Mean - half, i.Mean + half, i.N}
 }
 
-// Differences returns b less a, pair by pair.
+// PairedDifferences returns b less a, pair by pair.
 func PairedDifferences(a, b []float64) []float64 {
 	d := make([]float64, len(a))
 	for i := range a {
@@ -78,7 +78,7 @@
 	return d
 }
 
-// Rate returns the part of trials in which something happened, with the exact interval (Clopper, Pearson 1934): that it
+// RateInterval returns the part of trials in which something happened, with the exact interval (Clopper, Pearson 1934): that it
 // has not been seen does not say that it never happens.
 func RateInterval(happened, trials int64, confidence float64) Interval {
 	if trials <= 0 {
@@ -96,7 +96,7 @@
 	return i
 }
 
-// SameRate returns how likely two counts of the same exposure are at least as unlike as these, if what is counted is as
+// RateEqualityPValue returns how likely two counts of the same exposure are at least as unlike as these, if what is counted is as
 // frequent in both (the exact conditional test of Przyborowski and Wilenski, 1940).
 func RateEqualityPValue(a, b int64) float64 {
 	n := a + b
--- a/internal/experiment/sweep.go
+++ b/internal/experiment/sweep.go
@@ -76,7 +76,7 @@
 	return s, nil
 }
 
-// Of returns a figure at a point, and its difference from the first point; there it is nil.
+// Figure returns a figure at a point, and its difference from the first point; there it is nil.
 func (p *Point) Figure(figure string) (value stats.Interval, difference *Row) {
 	runs := p.RunsB
 	if runs == nil {
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -197,7 +197,7 @@
 	Error        string          `json:"error,omitempty"`
 }
 
-// Answer plays a job that another build asks for, as JSON, and returns the Reply, as JSON.
+// HandleJob plays a job that another build asks for, as JSON, and returns the Reply, as JSON.
 func HandleJob(ctx context.Context, text []byte) ([]byte, error) {
 	reply := Reply{ModelVersion: simulation.Version}
 	var j Job
--- a/internal/http1msg/body.go
+++ b/internal/http1msg/body.go
@@ -10,7 +10,7 @@
 	"strconv"
 )
 
-// Kind says how a message's body ends.
+// FramingKind says how a message's body ends.
 type FramingKind uint8
 
 // The kinds of framing (RFC 9112 section 6.3).
@@ -45,7 +45,7 @@
 	return Framing{}, nil
 }
 
-// AnswerFraming returns how an answer's body ends, by the request's method, its code and its header.
+// ResponseFraming returns how an answer's body ends, by the request's method, its code and its header.
 func ResponseFraming(method string, code int, h http.Header) (Framing, error) {
 	f, known, err := declaredFraming(h)
 	switch {
@@ -109,7 +109,7 @@
 const (
 	// lineMost is the longest line of a chunk's head or of a trailer. It must fit into the reader's buffer.
 	maxLineBytes = 2 << 10
-	// TrailersMost is the most bytes that the trailers of a message may have, and extensionsMost the most that its
+	// MaxTrailerBytes is the most bytes that the trailers of a message may have, and extensionsMost the most that its
 	// chunks' extensions may have, beyond the sixteen bytes that a chunk's head needs.
 	MaxTrailerBytes   = 8 << 10
 	maxExtensionBytes = 8 << 10
@@ -277,12 +277,12 @@
 	return nil
 }
 
-// ChunkHead appends the head of a chunk of n bytes, 1 at least, to b; behind the bytes CR LF must follow.
+// AppendChunkHeader appends the head of a chunk of n bytes, 1 at least, to b; behind the bytes CR LF must follow.
 func AppendChunkHeader(b []byte, n int) []byte {
 	return append(strconv.AppendInt(b, int64(n), 16), crlf...)
 }
 
-// LastChunk appends the end of a chunked body, with its trailers, to b.
+// AppendLastChunk appends the end of a chunked body, with its trailers, to b.
 func AppendLastChunk(b []byte, trailer http.Header) []byte {
 	b = append(b, "0\r\n"...)
 	if len(trailer) > 0 {
--- a/internal/http1msg/head.go
+++ b/internal/http1msg/head.go
@@ -10,11 +10,11 @@
 	"strings"
 )
 
-// FieldsMost is the most fields that a request's head may have. Each costs an endpoint work, and most servers have
+// MaxHeaderFields is the most fields that a request's head may have. Each costs an endpoint work, and most servers have
 // a bound of their own not far above: what is turned away here costs nobody an attempt.
 const MaxHeaderFields = 100
 
-// Decisive are the fields that tell who asks, for what, with which key, how long, and where a message ends. Each
+// SingletonHeaders are the fields that tell who asks, for what, with which key, how long, and where a message ends. Each
 // stands in a head once at most, and none may be named in Connection (RFC 9110 section 7.6.1): it would go missing on
 // the way to the endpoint, which would then not know a repeat for one. Names are in their canonical form.
 var SingletonHeaders = map[string]bool{
@@ -23,7 +23,7 @@
 	"X-Second-Try": true, "X-Size-Hint": true, "X-Props": true, "Traceparent": true,
 }
 
-// Error says what is wrong with a message.
+// HeadError says what is wrong with a message.
 type HeadError struct {
 	Status int // that a request with it is answered with
 	Reason string
@@ -39,7 +39,7 @@
 // others: whoever disagrees sees another request.
 var ErrLineEnd = &HeadError{http.StatusBadRequest, "a line of the head does not end with CR LF"}
 
-// HeadEnd returns the length of the head that b begins with, its empty line included, or 0 while it is not whole. Up to
+// FindHeadEnd returns the length of the head that b begins with, its empty line included, or 0 while it is not whole. Up to
 // from it has been looked at before; next is from for the next call.
 func FindHeadEnd(b []byte, from int) (n, next int, err error) {
 	for {
@@ -163,7 +163,7 @@
 	return bytes.EqualFold(rest, host)
 }
 
-// HopByHop says whether a field concerns one connection only, by its canonical name and by what Connection names.
+// IsHopByHop says whether a field concerns one connection only, by its canonical name and by what Connection names.
 func IsHopByHop(name string, connection []string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
@@ -172,7 +172,7 @@
 	return listContains(connection, name)
 }
 
-// Closes says whether Connection asks for the connection's end behind the message.
+// HasClose says whether Connection asks for the connection's end behind the message.
 func HasClose(connection []string) bool { return listContains(connection, "close") }
 
 // names says whether a list of words, over several fields, has one.
@@ -199,7 +199,7 @@
 	return len(b) > 0
 }
 
-// IsValue says whether a text may be a field's value (RFC 9110 section 5.5).
+// IsFieldValue says whether a text may be a field's value (RFC 9110 section 5.5).
 func IsFieldValue(s string) bool { return !strings.ContainsFunc(s, isControl) }
 
 // IsToken says whether a text is a token (RFC 9110 section 5.6.2), as methods and names of fields are.
--- a/internal/simulation/fleetmessages.go
+++ b/internal/simulation/fleetmessages.go
@@ -14,7 +14,7 @@
 // instanceName is how instances call one another, and how a file names those that lend.
 func instanceName(n int) string { return fmt.Sprint("instance-", n) }
 
-// Lenders returns of those that a file names as many as there are in a run of so many instances, an odd number.
+// QuotaCandidates returns of those that a file names as many as there are in a run of so many instances, an odd number.
 func QuotaCandidates(names []string, instances int) []string {
 	n := min(len(names), instances)
 	return names[:max(0, n-1+n%2)]
--- a/internal/simulation/measure/arrivals.go
+++ b/internal/simulation/measure/arrivals.go
@@ -31,7 +31,7 @@
 	faultsFrom, faultsUntil monotime.Micros // when what goes wrong begins, and has ended
 }
 
-// Arrived tells what came at an endpoint at an instant.
+// RecordArrival tells what came at an endpoint at an instant.
 func (m *Meter) RecordArrival(now monotime.Micros, node int, what Arrival) {
 	a := &m.arrivals
 	n := now / second
@@ -62,7 +62,7 @@
 	return int(all[n][node])
 }
 
-// Cause tells when what goes wrong begins, and when all of it has ended.
+// SetFaultPeriod tells when what goes wrong begins, and when all of it has ended.
 func (m *Meter) SetFaultPeriod(from, until monotime.Micros) {
 	m.arrivals.faultsFrom = from
 	m.arrivals.faultsUntil = until
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -19,7 +19,7 @@
 
 const second monotime.Micros = 1_000_000
 
-// Judge is by what a run is judged.
+// Criteria is by what a run is judged.
 type Criteria struct {
 	Classes         []balancer.Class  // in the order of the stories' classes
 	Tenants         []balancer.Tenant // in the order of the stories' tenants
@@ -137,7 +137,7 @@
 // Bin is how long the bins of the series are.
 func (m *Meter) Bin() monotime.Micros { return m.binWidth }
 
-// Worth is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
+// Weight is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
 func (m *Meter) Weight(s *simclient.Operation) (weight float64, within bool) {
 	weight = m.criteria.Classes[s.Class].PriorityWeight
 	if s.Tenant < 0 || s.Tenant >= len(m.allowances) || m.criteria.Tenants[s.Tenant].Quota <= 0 {
@@ -155,7 +155,7 @@
 	return weight, true
 }
 
-// Done takes in a story that has ended, with what Worth returned of it as it began. zone is its instance's.
+// OperationEnded takes in a story that has ended, with what Worth returned of it as it began. zone is its instance's.
 func (m *Meter) OperationEnded(s *simclient.Operation, zone int, weight float64, within bool) {
 	c := &m.criteria.Classes[s.Class]
 	took := s.EndedAt - s.StartedAt
@@ -242,7 +242,7 @@
 	return w.earned / w.offered
 }
 
-// Labour tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
+// RecordMaintenance tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
 // was at work, and how long all took; 0 is that not all are back.
 func (m *Meter) RecordMaintenance(requested, returned, sent int, took monotime.Micros) {
 	m.maintenance = map[string]float64{"work_sent": float64(sent), "work_left": float64(requested - returned), "work_took": float64(took) / float64(second)}
--- a/internal/simulation/measure/priorityaudit.go
+++ b/internal/simulation/measure/priorityaudit.go
@@ -8,7 +8,7 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// World is what a run's endpoints and instances could do, as far as a plan says.
+// Environment is what a run's endpoints and instances could do, as far as a plan says.
 type Environment struct {
 	Capacity func(at monotime.Micros) float64            // useful work that all endpoints can do in a microsecond
 	Serving  func(instance int, at monotime.Micros) bool // whether an instance takes requests
@@ -23,7 +23,7 @@
 	seconds     [][]classWork
 }
 
-// World tells what the run's endpoints and instances could do.
+// SetEnvironment tells what the run's endpoints and instances could do.
 func (m *Meter) SetEnvironment(w Environment) {
 	m.priorityAudit = &priorityAudit{environment: w, seconds: make([][]classWork, len(m.seconds))}
 	for i := range m.priorityAudit.seconds {
--- a/internal/simulation/measure/result.go
+++ b/internal/simulation/measure/result.go
@@ -45,7 +45,7 @@
 	Zone     [][]float64     `json:"Zone"`  // and of the clients in each zone
 }
 
-// NodeLoad is what one endpoint had to do.
+// EndpointLoad is what one endpoint had to do.
 type EndpointLoad struct {
 	Name        string  `json:"Name"`
 	Zone        int     `json:"Zone"`
@@ -55,7 +55,7 @@
 	Arrivals    []int64 `json:"Line,omitempty"` // requests that came, in each bin of the series; nil where there are many endpoints
 }
 
-// ClassTimes is how long a class's stories took that were served: pairs of a part of them and milliseconds.
+// ClassLatency is how long a class's stories took that were served: pairs of a part of them and milliseconds.
 type ClassLatency struct {
 	Name      string       `json:"Name"`
 	Count     int64        `json:"Count"`
--- a/internal/simulation/scenario/capacity.go
+++ b/internal/simulation/scenario/capacity.go
@@ -9,7 +9,7 @@
 // idealStep is how finely Ideal looks.
 const servableStep = second / 4
 
-// Ideal estimates the part of the plan's stories that what is left of the endpoints could serve at best: in each moment as
+// MaxServableShare estimates the part of the plan's stories that what is left of the endpoints could serve at best: in each moment as
 // much as is asked for, or as the endpoints that are up and known to be can do, each at the speed that it has then. Nobody
 // knows in advance what this takes as known, and stories do not come evenly: it is a bound, not an aim.
 func (p *Plan) MaxServableShare() float64 {
@@ -137,7 +137,7 @@
 	return 1
 }
 
-// Reached says whether an instance takes requests at an instant: it is neither stopped nor killed.
+// InstanceServing says whether an instance takes requests at an instant: it is neither stopped nor killed.
 func (p *Plan) InstanceServing(instance int, at monotime.Micros) bool {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
--- a/internal/simulation/scenario/operations.go
+++ b/internal/simulation/scenario/operations.go
@@ -15,7 +15,7 @@
 	Operations(instance int) func() (simclient.Operation, bool)
 }
 
-// Times is the shape of the traffic at an instant.
+// RateFactor is the shape of the traffic at an instant.
 func (p *Plan) RateFactor(at monotime.Micros) float64 {
 	if len(p.Shape) == 0 {
 		return 1
@@ -111,7 +111,7 @@
 	return k.split(len(k.weights) - 1)
 }
 
-// Stories returns the stories that begin at an instance, one at each call, in their order, until there are none.
+// Operations returns the stories that begin at an instance, one at each call, in their order, until there are none.
 func (p *Plan) Operations(instance int) func() (simclient.Operation, bool) {
 	if p.Source != nil {
 		return p.Source.Operations(instance)
--- a/internal/simulation/scenario/plan.go
+++ b/internal/simulation/scenario/plan.go
@@ -22,7 +22,7 @@
 	Source        Source         // of stories; nil is those that the plan draws itself
 }
 
-// Node is an endpoint of a plan.
+// Endpoint is an endpoint of a plan.
 type Endpoint struct {
 	Name          string
 	Kind, Zone    int
@@ -53,7 +53,7 @@
 	return work / shares
 }
 
-// Habits returns how the clients behave.
+// ClientBehavior returns how the clients behave.
 func (p *Plan) ClientBehavior() simclient.Behavior {
 	c := &p.Clients
 	backoff := ends(c.Backoff)
--- a/internal/simulation/scenario/plannedevent.go
+++ b/internal/simulation/scenario/plannedevent.go
@@ -7,7 +7,7 @@
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// Happening is an event of a plan: what was left to chance is drawn.
+// PlannedEvent is an event of a plan: what was left to chance is drawn.
 type PlannedEvent struct {
 	What      string          `json:"What"`
 	At        monotime.Micros `json:"At"`
@@ -38,13 +38,13 @@
 	return min(h.Until, h.At+(turn+1)*h.Every), turn%2 == 0
 }
 
-// Severs says whether it lets nothing through between an instance and an endpoint, towards the endpoint or back.
+// Blocks says whether it lets nothing through between an instance and an endpoint, towards the endpoint or back.
 func (h *PlannedEvent) Blocks(now monotime.Micros, instance, node int, back bool) bool {
 	return h.What == "sever" && now >= h.At && now < h.Until && (h.Way == "" || (h.Way == "from") == back) &&
 		contains(h.Instances, instance) && contains(h.Endpoints, node)
 }
 
-// Parts says whether no word passes from one instance to another at an instant.
+// Partitioned says whether no word passes from one instance to another at an instant.
 func (p *Plan) Partitioned(now monotime.Micros, from, to int) bool {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
@@ -63,7 +63,7 @@
 	return false
 }
 
-// Lies is how many times what it wants the liar says that it does at an instant; 1 without one.
+// DemandFactor is how many times what it wants the liar says that it does at an instant; 1 without one.
 func (p *Plan) DemandFactor(now monotime.Micros) float64 {
 	for i := range p.PlannedEvents {
 		if h := &p.PlannedEvents[i]; h.What == "liar" && now >= h.At && now < h.Until {
@@ -73,7 +73,7 @@
 	return 1
 }
 
-// Late is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
+// MessageDelay is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
 // of the word's own.
 func (p *Plan) MessageDelay(now monotime.Micros, from int, draws [3]float64) (more monotime.Micros, twice bool) {
 	for i := range p.PlannedEvents {
@@ -88,7 +88,7 @@
 	return more, twice
 }
 
-// Lag is by how much longer each message between an instance and an endpoint takes at an instant.
+// ExtraDelay is by how much longer each message between an instance and an endpoint takes at an instant.
 func (p *Plan) ExtraDelay(now monotime.Micros, instance, node int) (more monotime.Micros) {
 	for i := range p.PlannedEvents {
 		if h := &p.PlannedEvents[i]; h.What == "lag" && now >= h.At && now < h.Until && contains(h.Instances, instance) && contains(h.Endpoints, node) {
@@ -98,7 +98,7 @@
 	return more
 }
 
-// Condition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of the
+// AddCondition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of the
 // scenario's classes has at endpoints.
 func (h *PlannedEvent) AddCondition(c *simendpoint.Condition, now monotime.Micros, k int, classOf []int) {
 	size := h.Sizes[k]
@@ -127,7 +127,7 @@
 	}
 }
 
-// Trouble is when the first of what happens begins and the last ends that does end; both 0 where nothing happens.
+// EventPeriod is when the first of what happens begins and the last ends that does end; both 0 where nothing happens.
 func (p *Plan) EventPeriod() (from, until monotime.Micros) {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -72,7 +72,7 @@
 	Drift float64             `toml:"drift,omitempty"` // either way, at most, as a part of time
 }
 
-// Nodes are endpoints of one kind.
+// EndpointKind are endpoints of one kind.
 type EndpointKind struct {
 	Kind                string              `toml:"kind,omitempty"`
 	Count               int                 `toml:"count,omitempty"`
@@ -140,7 +140,7 @@
 	Digest string              `toml:"digest,omitempty"` // of what is there; filled in, so that kept runs are of the same record
 }
 
-// Shape is how many times the traffic is at an instant; in between it changes evenly.
+// RatePoint is how many times the traffic is at an instant; in between it changes evenly.
 type RatePoint struct {
 	At     stricttoml.Duration `toml:"at"`
 	Factor float64             `toml:"times"`
--- a/internal/simulation/simclient/operation.go
+++ b/internal/simulation/simclient/operation.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Habits are how clients behave.
+// Behavior are how clients behave.
 type Behavior struct {
 	Retries         [2]int             // a client tries again so many times at most, drawn between these
 	TimeoutShare    [2]float64         // and waits for each try this part of all the time it has
@@ -21,7 +21,7 @@
 	FreshKeys       float64            // part of the clients whose tries have a new key each, as if they were new requests
 }
 
-// Story is one thing that a client wants, with all its tries.
+// Operation is one thing that a client wants, with all its tries.
 type Operation struct {
 	ID             uint64
 	Instance       int // that it asks
@@ -63,7 +63,7 @@
 	OutcomeCount         // how many there are
 )
 
-// Verdict is how one try ended.
+// RequestOutcome is how one try ended.
 type RequestOutcome uint8
 
 // The verdicts.
@@ -74,7 +74,7 @@
 	NoResponse                // no whole answer
 )
 
-// Try is a request that a client makes.
+// Request is a request that a client makes.
 type Request struct {
 	Number         int
 	IdempotencyKey uint64
@@ -83,7 +83,7 @@
 	Retry          bool            // it says that it is a repetition
 }
 
-// Begin draws what a story's client is like, and returns its first try.
+// Start draws what a story's client is like, and returns its first try.
 func (s *Operation) Start(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
 	s.StartedAt = now
 	s.maxRetries = h.Retries[0] + r.IntN(h.Retries[1]-h.Retries[0]+1)
@@ -94,7 +94,7 @@
 	return s.nextRequest(now, h, c, r)
 }
 
-// End returns when a story is given up at the latest.
+// Deadline returns when a story is given up at the latest.
 func (s *Operation) Deadline(c *balancer.Class) monotime.Micros { return s.StartedAt + c.ClientTimeout }
 
 func (s *Operation) nextRequest(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
@@ -115,7 +115,7 @@
 	return t
 }
 
-// Done tells how a try ended; trying again is harmless after a refusal only, and otherwise as the class allows. If again
+// RequestEnded tells how a try ended; trying again is harmless after a refusal only, and otherwise as the class allows. If again
 // is so, the next try begins at an instant: Again makes it. Of a try that is not the present one nothing is taken in.
 func (s *Operation) RequestEnded(now monotime.Micros, number int, v RequestOutcome, retryAfter monotime.Micros, c *balancer.Class, r *rand.Rand) (at monotime.Micros, again bool) {
 	if !s.inFlight || number != s.requestNumber || s.Outcome != Pending {
@@ -150,7 +150,7 @@
 	return now + wait, true
 }
 
-// Again makes the next try.
+// Retry makes the next try.
 func (s *Operation) Retry(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
 	return s.nextRequest(now, h, c, r)
 }
--- a/internal/simulation/simendpoint/config.go
+++ b/internal/simulation/simendpoint/config.go
@@ -4,7 +4,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Cancel says what becomes of a request whose sender has given it up.
+// Cancellation says what becomes of a request whose sender has given it up.
 type Cancellation uint8
 
 // What it may be.
--- a/internal/simulation/simendpoint/dedup.go
+++ b/internal/simulation/simendpoint/dedup.go
@@ -6,14 +6,14 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Group is a set of endpoints that share which keys they have seen.
+// DedupGroup is a set of endpoints that share which keys they have seen.
 type DedupGroup struct {
 	window    monotime.Micros
 	firstSeen map[uint64]monotime.Micros // keys, by when each was first taken
 	order     []uint64                   // the oldest first
 }
 
-// NewGroup returns a group that drops a key's repeats for so long.
+// NewDedupGroup returns a group that drops a key's repeats for so long.
 func NewDedupGroup(window monotime.Micros) *DedupGroup {
 	return &DedupGroup{window: window, firstSeen: map[uint64]monotime.Micros{}}
 }
--- a/internal/simulation/simendpoint/endpoint.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -49,7 +49,7 @@
 	Unanswered                // it ran, and nothing is said of it
 )
 
-// Ended is a request's end at an endpoint.
+// Completion is a request's end at an endpoint.
 type Completion struct {
 	Job     *Job
 	At      monotime.Micros
@@ -57,7 +57,7 @@
 	Effect  bool // it took effect: it was no repeat that the endpoint knew. What fails after its work has, too
 }
 
-// Node is an endpoint. Make one with New, and start it.
+// Endpoint is an endpoint. Make one with New, and start it.
 type Endpoint struct {
 	config     Config
 	dedupGroup *DedupGroup
@@ -129,16 +129,16 @@
 // Up says whether its process runs; it may be draining, or have fallen over.
 func (n *Endpoint) Up() bool { return n.up }
 
-// Fell says whether it was pushed over while cold. It stays so until it is started again.
+// Collapsed says whether it was pushed over while cold. It stays so until it is started again.
 func (n *Endpoint) Collapsed() bool { return n.collapsed }
 
-// Held returns how many requests it holds.
+// InFlight returns how many requests it holds.
 func (n *Endpoint) InFlight() int { return n.busy + len(n.queue) }
 
-// Worked returns the work that it has done, in microseconds at speed 1.
+// WorkDone returns the work that it has done, in microseconds at speed 1.
 func (n *Endpoint) WorkDone() float64 { return n.workDone }
 
-// Started returns when it last started, 0 if it was always up.
+// StartedAt returns when it last started, 0 if it was always up.
 func (n *Endpoint) StartedAt() monotime.Micros {
 	if n.alwaysUp {
 		return 0
@@ -146,7 +146,7 @@
 	return n.startedAt
 }
 
-// Set changes what goes wrong there.
+// SetCondition changes what goes wrong there.
 func (n *Endpoint) SetCondition(c Condition) { n.condition = c }
 
 // Condition returns what goes wrong there.
@@ -175,7 +175,7 @@
 // Disconnect gives a connection back.
 func (n *Endpoint) Disconnect() { n.connections = max(0, n.connections-1) }
 
-// Warmth is the part of its speed that it has by now.
+// WarmupShare is the part of its speed that it has by now.
 func (n *Endpoint) WarmupShare(now monotime.Micros) float64 {
 	if n.alwaysUp || n.config.WarmupDuration <= 0 || n.config.WarmupFrom <= 0 || now-n.startedAt >= n.config.WarmupDuration {
 		return 1
@@ -272,7 +272,7 @@
 	}
 }
 
-// Next returns the instant of the next end; ok says whether there is one.
+// NextCompletion returns the instant of the next end; ok says whether there is one.
 func (n *Endpoint) NextCompletion() (at monotime.Micros, ok bool) {
 	for _, j := range n.cores {
 		if j != nil && (!ok || j.endsAt < at) {
@@ -335,7 +335,7 @@
 	return e
 }
 
-// GiveUp tells that a request's sender waits no longer, and says whether that ends it.
+// Cancel tells that a request's sender waits no longer, and says whether that ends it.
 func (n *Endpoint) Cancel(now monotime.Micros, j *Job) bool {
 	switch {
 	case j.state == queued && n.config.Cancellation != CancelNone:
@@ -364,7 +364,7 @@
 	}
 }
 
-// WorkOf draws what an attempt of a request costs: the request's own work, and what differs from one run to the next.
+// DrawWork draws what an attempt of a request costs: the request's own work, and what differs from one run to the next.
 func DrawWork(r *rand.Rand, work monotime.Micros, noise float64) monotime.Micros {
 	return max(1, monotime.Micros(randstream.LogNormal(r, float64(work), noise)))
 }
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -72,7 +72,7 @@
 	Step      string
 }
 
-// Request is a client's request as its instance saw it.
+// RequestRecord is a client's request as its instance saw it.
 type RequestRecord struct {
 	Instance, Process      int
 	Operation              uint64
