--- a/cmd/dunlinsail/size_test.go
+++ b/cmd/dunlinsail/size_test.go
@@ -26,7 +26,7 @@
 		memoryMB = 32
 	)
 	part := make([]byte, 64<<10)
-	large := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) {
+	large := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(size))
 		for range size / len(part) {
 			if _, err := w.Write(part); err != nil {
@@ -79,7 +79,7 @@
 			}
 		})
 		// One after the other: so many at once are more than the one endpoint can be expected to answer in time.
-		if err := scriptedpeer.Within(t, begun, "the first part of an answer"); err != nil {
+		if err := scriptedpeer.Receive(t, begun, "the first part of an answer"); err != nil {
 			t.Error(err)
 		}
 	}
--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -66,7 +66,7 @@
 	h := &host{t: t, ln: f, addr: ln.Addr().String(), dir: t.TempDir()}
 	var list []string
 	for i := range h.requests {
-		addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 			if h.requests[i].Add(1); r.URL.Path == "/pay/held" {
 				<-*h.hold.Load()
 			}
@@ -183,7 +183,7 @@
 // ends waits for a process that was told to stop, or has handed over.
 func (p *process) ends() {
 	p.h.t.Helper()
-	if err := scriptedpeer.Within(p.h.t, p.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(p.h.t, p.ended, "end"); err != nil {
 		p.h.t.Errorf("ended with %v\n%s", err, p.log.String())
 	}
 }
@@ -326,7 +326,7 @@
 		next := h.start().ready()
 		old.cmd.Process.Signal(syscall.SIGTERM)
 		hold <- struct{}{}
-		if code := scriptedpeer.Within(t, answered, "answer to the one that was held"); code != 200 {
+		if code := scriptedpeer.Receive(t, answered, "answer to the one that was held"); code != 200 {
 			t.Errorf("held over the upgrade: %d", code)
 		}
 		if code, err := exchange(half, bufio.NewReader(half), text[len(text)/2:]); code != 200 {
@@ -444,7 +444,7 @@
 		if err := c.Write(m); err != nil {
 			h.t.Fatal(err)
 		}
-		got, err := c.ReadWithin(scriptedpeer.Soon)
+		got, err := c.ReadWithin(scriptedpeer.WaitTimeout)
 		if err != nil {
 			h.t.Fatal(err)
 		}
@@ -482,7 +482,7 @@
 					successor.Close()
 				}
 				hold <- struct{}{} // the first has its answer
-				if code := scriptedpeer.Within(t, answered, "answer to what was open"); code != 200 {
+				if code := scriptedpeer.Receive(t, answered, "answer to what was open"); code != 200 {
 					t.Errorf("what was open was answered %d", code)
 				}
 				const killed = 3700 * time.Millisecond
@@ -516,7 +516,7 @@
 			}
 			defer c.Close()
 			for i, answer := range []decide.Event{decide.Offer, decide.Handover, decide.Activate} {
-				m, err := c.ReadWithin(scriptedpeer.Soon)
+				m, err := c.ReadWithin(scriptedpeer.WaitTimeout)
 				if err != nil {
 					t.Fatalf("step %d: %v", i, err)
 				}
@@ -541,7 +541,7 @@
 			if n, err := client.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("a client that waits for whoever serves: %d bytes, %v", n, err)
 			}
-			if m, err := c.ReadWithin(scriptedpeer.Soon); err == nil {
+			if m, err := c.ReadWithin(scriptedpeer.WaitTimeout); err == nil {
 				m.CloseFiles()
 				t.Errorf("it said %v as it ended", m.Kind)
 			}
@@ -561,7 +561,7 @@
 	next.cmd.Process.Signal(syscall.SIGTERM)
 	next.ends()
 	close(hold)
-	if code := scriptedpeer.Within(t, answered, "answer"); code != 200 {
+	if code := scriptedpeer.Receive(t, answered, "answer"); code != 200 {
 		t.Errorf("open as both were to end: %d", code)
 	}
 	old.ends()
@@ -617,7 +617,7 @@
 			}
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			p.ends()
-			scriptedpeer.Within(t, over, "end of the connection")
+			scriptedpeer.Receive(t, over, "end of the connection")
 		})
 	}
 }
@@ -644,7 +644,7 @@
 	next.setCordon("disable", "s-1")
 	out(old, 1)
 	close(hold)
-	if code := scriptedpeer.Within(t, answered, "answer"); code != 200 {
+	if code := scriptedpeer.Receive(t, answered, "answer"); code != 200 {
 		t.Errorf("held over the upgrade: %d", code)
 	}
 	old.ends()
@@ -662,7 +662,7 @@
 	h.ln = r
 	p := h.start()
 	var exit *exec.ExitError
-	if err := scriptedpeer.Within(t, p.ended, "end"); !errors.As(err, &exit) || !strings.Contains(p.log.String(), "no listening stream socket") {
+	if err := scriptedpeer.Receive(t, p.ended, "end"); !errors.As(err, &exit) || !strings.Contains(p.log.String(), "no listening stream socket") {
 		t.Errorf("%v\n%s", err, p.log.String())
 	}
 }
--- a/cmd/dunlinsaild/hot_restart_test.go
+++ b/cmd/dunlinsaild/hot_restart_test.go
@@ -57,7 +57,7 @@
 		io.Copy(io.Discard, out)
 		p.ended <- p.cmd.Wait()
 	}()
-	if err := scriptedpeer.Within(t, announced, "a daemon that serves"); err != nil {
+	if err := scriptedpeer.Receive(t, announced, "a daemon that serves"); err != nil {
 		t.Fatal(err)
 	}
 	return p
@@ -66,7 +66,7 @@
 // ends waits for a process that has handed over, or was told to end.
 func (p *served) ends(t *testing.T) {
 	t.Helper()
-	if err := scriptedpeer.Within(t, p.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, p.ended, "end"); err != nil {
 		t.Errorf("ended with %v\n%s", err, p.log.String())
 	}
 }
@@ -95,8 +95,8 @@
 	var listed []discovery.Instance
 	for i := range 3 {
 		name := fmt.Sprint("s-", i)
-		e, err := endpoint.Start(endpoint.Options{Name: name, Ledger: ledger, Keyed: 10 * time.Second,
-			Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
+		e, err := endpoint.Start(endpoint.Options{Name: name, Ledger: ledger, IdempotencyWindow: 10 * time.Second,
+			ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -128,13 +128,13 @@
 	current := serveBy(t, programs[0], path)
 	// Long times, so that no request is given up, or retried, because the machine is slow.
 	classes := []client.Class{
-		{Name: "book", Share: 0.5, Method: "POST", Keyed: true, Body: 300, Wait: 9 * time.Second},
-		{Name: "pay", Share: 0.5, Method: "POST", Body: 300, Wait: 9 * time.Second}}
+		{Name: "book", Share: 0.5, Method: "POST", SendIdempotencyKey: true, BodySize: 300, Timeout: 9 * time.Second},
+		{Name: "pay", Share: 0.5, Method: "POST", BodySize: 300, Timeout: 9 * time.Second}}
 	// A daemon that knows nothing yet rejects what comes at once beyond its guesses.
 	warm := client.New(client.Options{Name: "warm", Network: "tcp", Addr: addr})
 	var warmed int
 	scriptedpeer.Eventually(t, "requests that are served", func() bool {
-		if warm.Ask(classes[1], fmt.Sprint("warm-", warmed), "").Verdict == client.Served {
+		if warm.Send(classes[1], fmt.Sprint("warm-", warmed), "").Verdict == client.Served {
 			warmed++
 		}
 		return warmed == 10
@@ -143,10 +143,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	reports := make(chan client.Report, 1)
-	load := client.New(client.Options{Name: "load", Network: "tcp", Addr: addr, Workers: 4, For: time.Minute, Seed: 3, Classes: classes,
+	load := client.New(client.Options{Name: "load", Network: "tcp", Addr: addr, Workers: 4, Duration: time.Minute, Seed: 3, Classes: classes,
 		OnDone: func(r client.Result) {
 			if r.Verdict != client.Served {
-				t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
+				t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Status, r.Err)
 			}
 		}})
 	go func() { reports <- load.Run(ctx) }()
@@ -163,17 +163,17 @@
 	reached := len(ledger.Runs()) + 100
 	scriptedpeer.Eventually(t, "load after the last restart", func() bool { return len(ledger.Runs()) > reached })
 	stop()
-	report := scriptedpeer.Within(t, reports, "report")
-	if report.By[client.Served] != report.Asked || report.Asked < 300 {
-		t.Errorf("%d asked, %v", report.Asked, report.By)
+	report := scriptedpeer.Receive(t, reports, "report")
+	if report.ByVerdict[client.Served] != report.Scheduled || report.Scheduled < 300 {
+		t.Errorf("%d asked, %v", report.Scheduled, report.ByVerdict)
 	}
 	current.cmd.Process.Signal(syscall.SIGTERM)
 	current.ends(t)
 	current.restored(t)
 	effects := map[string]int{}
 	for _, run := range ledger.Runs() {
-		if run.Effect {
-			effects[cmp.Or(run.Key, run.Class+run.ID)]++
+		if run.TookEffect {
+			effects[cmp.Or(run.IdempotencyKey, run.Class+run.TraceID)]++
 		}
 	}
 	for request, n := range effects {
@@ -181,5 +181,5 @@
 			t.Errorf("%s took effect %d times", request, n)
 		}
 	}
-	t.Logf("%d requests, each with one final answer; longest gap between two %v", report.Asked, report.LongestGap)
+	t.Logf("%d requests, each with one final answer; longest gap between two %v", report.Scheduled, report.LongestGap)
 }
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -48,7 +48,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	late := time.AfterFunc(scriptedpeer.Soon, func() { cmd.Process.Signal(syscall.SIGQUIT) })
+	late := time.AfterFunc(scriptedpeer.WaitTimeout, func() { cmd.Process.Signal(syscall.SIGQUIT) })
 	err := cmd.Wait()
 	if !late.Stop() {
 		t.Fatalf("%v did not end; it said %q", args, e.String())
@@ -107,7 +107,7 @@
 ready_within = "1s"
 [[listener]]
 name = "desk"
-address = "` + scriptedpeer.Nowhere(t) + `"
+address = "` + scriptedpeer.ClosedAddress(t) + `"
 client = "desk"
 [[client]]
 name = "desk"
@@ -164,7 +164,7 @@
 			_, err := io.ReadFull(out, make([]byte, len("serving\n")))
 			said <- err
 		}()
-		if err := scriptedpeer.Within(t, said, "a daemon that serves"); err != nil {
+		if err := scriptedpeer.Receive(t, said, "a daemon that serves"); err != nil {
 			t.Fatal(err)
 		}
 		ended := make(chan error, 1)
@@ -180,7 +180,7 @@
 	kept := &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return nc, nil }}}
 	serves := func(what string) {
 		t.Helper()
-		for end := time.Now().Add(scriptedpeer.Soon); ; {
+		for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
 			req, _ := http.NewRequest("GET", "http://"+addr+"/look/1", nil)
 			req.Header.Set("X-Trace-Id", "t1")
 			resp, err := kept.Do(req)
@@ -221,19 +221,19 @@
 			t.Fatal(err)
 		}
 		// Before the next spoils the file: one that has moved to a discovery that is silent hands on what it knows of it.
-		_ = scriptedpeer.Within(t, read, "a file read again") // refused or not
+		_ = scriptedpeer.Receive(t, read, "a file read again") // refused or not
 		serves(what)
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	second, secondEnded := serve()
-	if err := scriptedpeer.Within(t, ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Receive(t, ended, "end of the first"); err != nil {
 		t.Errorf("the first ended with %v", err)
 	}
 	serves("after the takeover")
 	second.Process.Signal(syscall.SIGTERM)
-	if err := scriptedpeer.Within(t, secondEnded, "end of the second"); err != nil {
+	if err := scriptedpeer.Receive(t, secondEnded, "end of the second"); err != nil {
 		t.Errorf("the second ended with %v", err)
 	}
 }
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -39,7 +39,7 @@
 	var join []string
 	names := []string{"a", "b", "c", "d"}
 	for _, name := range names {
-		all[name] = &one{peers: scriptedpeer.Nowhere(t), ask: scriptedpeer.Nowhere(t), at: scriptedpeer.Nowhere(t)}
+		all[name] = &one{peers: scriptedpeer.ClosedAddress(t), ask: scriptedpeer.ClosedAddress(t), at: scriptedpeer.ClosedAddress(t)}
 		join = append(join, fmt.Sprintf("%q", all[name].peers))
 	}
 	for i, name := range names {
@@ -146,7 +146,7 @@
 	}
 	all["b"].cmd.Process.Kill()
 	scriptedpeer.Eventually(t, "nobody sees that b is gone", func() bool { return alive("a") == "a" })
-	if code, _, errs := ends(t, "members", "--at", scriptedpeer.Nowhere(t)); code != 1 || errs == "" {
+	if code, _, errs := ends(t, "members", "--at", scriptedpeer.ClosedAddress(t)); code != 1 || errs == "" {
 		t.Errorf("nobody there: %d %q", code, errs)
 	}
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -243,15 +243,15 @@
 
 // classes are those of sidecarConfig, as a client asks for them.
 var classes = []client.Class{
-	{Name: "look", Share: 0.9, Method: http.MethodGet, Wait: 500 * time.Millisecond},
-	{Name: "book", Share: 0.1, Method: http.MethodPost, Keyed: true, Body: 200, Wait: 500 * time.Millisecond},
+	{Name: "look", Share: 0.9, Method: http.MethodGet, Timeout: 500 * time.Millisecond},
+	{Name: "book", Share: 0.1, Method: http.MethodPost, SendIdempotencyKey: true, BodySize: 200, Timeout: 500 * time.Millisecond},
 }
 
 // printReport prints one line of figures.
 func printReport(w io.Writer, name string, r client.Report, cpu time.Duration) {
-	n := float64(max(1, r.Asked))
+	n := float64(max(1, r.Scheduled))
 	fmt.Fprintf(w, "%-14s asked %6d  served %6.2f%%  refused %6.2f%%  other %6.2f%%  p50 %7.2f ms  p99 %7.2f ms  cpu %6.1f us/request\n",
-		name, r.Asked, 100*float64(r.By[client.Served])/n, 100*float64(r.By[client.Refused])/n,
-		100*(n-float64(r.By[client.Served]+r.By[client.Refused]))/n, r.Quantile(0.5).Seconds()*1000,
+		name, r.Scheduled, 100*float64(r.ByVerdict[client.Served])/n, 100*float64(r.ByVerdict[client.Rejected])/n,
+		100*(n-float64(r.ByVerdict[client.Served]+r.ByVerdict[client.Rejected]))/n, r.Quantile(0.5).Seconds()*1000,
 		r.Quantile(0.99).Seconds()*1000, cpu.Seconds()*1e6/n)
 }
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -30,16 +30,16 @@
 					}
 					return s.proxy(ctx, cores)
 				}
-				steady, used, err := one(ctx, start, client.Options{Rate: rate, For: each, Most: 256})
+				steady, used, err := one(ctx, start, client.Options{Rate: rate, Duration: each, MaxOpen: 256})
 				if err != nil {
 					return err
 				}
-				full, _, err := one(ctx, start, client.Options{Workers: 64, For: each})
+				full, _, err := one(ctx, start, client.Options{Workers: 64, Duration: each})
 				if err != nil {
 					return err
 				}
-				cpu[name] = append(cpu[name], used.Seconds()*1e6/float64(max(1, steady.Asked)))
-				most[name] = append(most[name], float64(full.By[client.Served])/each.Seconds())
+				cpu[name] = append(cpu[name], used.Seconds()*1e6/float64(max(1, steady.Scheduled)))
+				most[name] = append(most[name], float64(full.ByVerdict[client.Served])/each.Seconds())
 				fmt.Fprintf(w, "%d core(s) %-13s steady: served %6.2f%%, p50 %5.2f ms, p99 %5.2f ms, cpu %6.1f us/request; most: %6.0f/s, served %6.2f%%, p99 %5.2f ms\n",
 					cores, name, served(steady), ms(steady.Quantile(0.5)), ms(steady.Quantile(0.99)), cpu[name][len(cpu[name])-1],
 					most[name][len(most[name])-1], served(full), ms(full.Quantile(0.99)))
@@ -67,7 +67,7 @@
 }
 
 func served(r client.Report) float64 {
-	return 100 * float64(r.By[client.Served]) / float64(max(1, r.Asked))
+	return 100 * float64(r.ByVerdict[client.Served]) / float64(max(1, r.Scheduled))
 }
 
 func ms(d time.Duration) float64 { return d.Seconds() * 1000 }
--- a/internal/bench/fast.go
+++ b/internal/bench/fast.go
@@ -39,7 +39,7 @@
 			return err
 		}
 		c := client.New(client.Options{Name: name, Network: "tcp", Addr: addr, Tenant: "acme", Classes: classes,
-			Rate: rate, For: each, Most: 256, Seed: 1})
+			Rate: rate, Duration: each, MaxOpen: 256, Seed: 1})
 		r := c.Run(ctx)
 		printReport(w, name, r, p.stop())
 		return nil
--- a/internal/bench/handover.go
+++ b/internal/bench/handover.go
@@ -17,7 +17,7 @@
 // Handover measures the longest gap between two answers while one process takes over from another, beside the
 // longest gap in the same time without, at a steady rate.
 func Handover(ctx context.Context, w io.Writer, bin string, rate float64, each time.Duration, rounds int) error {
-	s, err := newSite(4, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5, Cores: 8})
+	s, err := newSite(4, endpoint.Options{ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5, Cores: 8})
 	if err != nil {
 		return err
 	}
@@ -51,7 +51,7 @@
 			})
 		}
 		r := client.New(client.Options{Name: fmt.Sprint("c", round), Network: "tcp", Addr: addr, Tenant: "acme", Classes: classes,
-			Rate: rate, For: each, Most: 1000, Seed: uint64(round)}).Run(ctx)
+			Rate: rate, Duration: each, MaxOpen: 1000, Seed: uint64(round)}).Run(ctx)
 		beside.Wait()
 		what := "without"
 		if taking {
@@ -66,9 +66,9 @@
 		} else {
 			without = append(without, ms(r.LongestGap))
 		}
-		fmt.Fprintf(w, "%-26s asked %5d, served %5d, refused %d, failed %d, lost %d; longest gap %6.2f ms, p99 %5.2f ms\n", what, r.Asked,
-			r.By[client.Served], r.By[client.Refused], r.By[client.Failed],
-			r.By[client.Lost]+r.By[client.TimedOut]+r.By[client.Wrong], ms(r.LongestGap), ms(r.Quantile(0.99)))
+		fmt.Fprintf(w, "%-26s asked %5d, served %5d, refused %d, failed %d, lost %d; longest gap %6.2f ms, p99 %5.2f ms\n", what, r.Scheduled,
+			r.ByVerdict[client.Served], r.ByVerdict[client.Rejected], r.ByVerdict[client.Failed],
+			r.ByVerdict[client.ConnectionLost]+r.ByVerdict[client.TimedOut]+r.ByVerdict[client.WrongResponse], ms(r.LongestGap), ms(r.Quantile(0.99)))
 	}
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	<-ended
--- a/internal/bench/neighbour.go
+++ b/internal/bench/neighbour.go
@@ -16,7 +16,7 @@
 // endpoints can do: through the daemon, where both have the same weight, and through ReverseProxy.
 func Neighbour(ctx context.Context, w io.Writer, bin string, each time.Duration, rounds int) error {
 	const work, cores, nodes, modest = 10 * time.Millisecond, 4, 4, 100.0
-	s, err := newSite(nodes, endpoint.Options{Work: map[string]time.Duration{"": work}, Spread: 0.3, Cores: cores})
+	s, err := newSite(nodes, endpoint.Options{ServiceTime: map[string]time.Duration{"": work}, Spread: 0.3, Cores: cores})
 	if err != nil {
 		return err
 	}
@@ -40,15 +40,15 @@
 		if hog {
 			beside.Go(func() {
 				other = client.New(client.Options{Name: "hog", Network: network, Addr: hogAddr, Tenant: "acme", Classes: classes,
-					Rate: 20 * modest, For: each, Most: 1500, Seed: 2}).Run(ctx)
+					Rate: 20 * modest, Duration: each, MaxOpen: 1500, Seed: 2}).Run(ctx)
 			})
 		}
 		r := client.New(client.Options{Name: "modest", Network: "tcp", Addr: addr, Tenant: "acme", Classes: classes,
-			Rate: modest, For: each, Seed: 3}).Run(ctx)
+			Rate: modest, Duration: each, Seed: 3}).Run(ctx)
 		beside.Wait()
 		p99[name] = append(p99[name], ms(r.Quantile(0.99)))
 		fmt.Fprintf(w, "%-26s modest: served %6.2f%%, p50 %6.2f ms, p99 %6.2f ms; hog: served %5.0f/s\n", name, served(r),
-			ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), float64(other.By[client.Served])/each.Seconds())
+			ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), float64(other.ByVerdict[client.Served])/each.Seconds())
 	}
 	run("warm-up", p.addr, "unix", filepath.Join(s.dir, "clients.sock"), true)
 	for range rounds {
--- a/internal/bench/pools.go
+++ b/internal/bench/pools.go
@@ -25,7 +25,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	good, stop, err := endpoints(2, endpoint.Options{Work: map[string]time.Duration{"": work}, Spread: 0.3, Cores: 4})
+	good, stop, err := endpoints(2, endpoint.Options{ServiceTime: map[string]time.Duration{"": work}, Spread: 0.3, Cores: 4})
 	if err != nil {
 		return err
 	}
@@ -34,7 +34,7 @@
 	var bad []*endpoint.Server
 	var addrs []string
 	for i := range badNodes {
-		s, err := endpoint.Start(endpoint.Options{Name: fmt.Sprint("bad-", i), Work: map[string]time.Duration{"": work}, Ledger: ledger})
+		s, err := endpoint.Start(endpoint.Options{Name: fmt.Sprint("bad-", i), ServiceTime: map[string]time.Duration{"": work}, Ledger: ledger})
 		if err != nil {
 			return err
 		}
@@ -43,7 +43,7 @@
 	}
 	faults := func(f endpoint.Fault) {
 		for _, s := range bad {
-			s.Faults(func(*http.Request) endpoint.Fault { return f })
+			s.SetFaults(func(*http.Request) endpoint.Fault { return f })
 		}
 	}
 	serve := func(budget float64) (*process, error) {
@@ -68,8 +68,8 @@
 		return startProcess(ctx, addr, 0, nil, bin+"/dunlinsaild", "--config", path)
 	}
 	ask := func(p *process, name string, rate float64, seed uint64) client.Report {
-		return client.New(client.Options{Name: fmt.Sprint(name, seed), Network: "tcp", Addr: p.addr, Tenant: "acme", Rate: rate, For: each, Most: 1000,
-			Seed: seed, Classes: []client.Class{{Name: name, Share: 1, Method: http.MethodGet, Wait: 500 * time.Millisecond}}}).Run(ctx)
+		return client.New(client.Options{Name: fmt.Sprint(name, seed), Network: "tcp", Addr: p.addr, Tenant: "acme", Rate: rate, Duration: each, MaxOpen: 1000,
+			Seed: seed, Classes: []client.Class{{Name: name, Share: 1, Method: http.MethodGet, Timeout: 500 * time.Millisecond}}}).Run(ctx)
 	}
 	p, err := serve(0.2)
 	if err != nil {
@@ -83,8 +83,8 @@
 		name  string
 		fault endpoint.Fault
 		rate  float64
-	}{{"alone", endpoint.None, 0}, {"beside one that is well", endpoint.None, rate}, {"beside one that answers 500", endpoint.Fail, rate},
-		{"beside one that says nothing", endpoint.Silent, rate}, {"beside one that breaks off", endpoint.Break, rate}}
+	}{{"alone", endpoint.NoFault, 0}, {"beside one that is well", endpoint.NoFault, rate}, {"beside one that answers 500", endpoint.InternalError, rate},
+		{"beside one that says nothing", endpoint.NoResponse, rate}, {"beside one that breaks off", endpoint.ConnectionReset, rate}}
 	seed := uint64(1)
 	for range rounds {
 		for _, way := range ways {
@@ -106,7 +106,7 @@
 		fmt.Fprintf(w, "median p99 %s: %.2f ms, %.2f times that beside one that is well\n", way.name, m, m/base)
 	}
 	for _, budget := range []float64{0.1, 10} {
-		faults(endpoint.Fail)
+		faults(endpoint.InternalError)
 		q, err := serve(budget)
 		if err != nil {
 			return err
@@ -117,12 +117,12 @@
 		runs := ledger.Runs()[from:]
 		most := 0
 		for i, j := 0, 0; i < len(runs); i++ {
-			for runs[i].At.Sub(runs[j].At) > time.Second {
+			for runs[i].StartedAt.Sub(runs[j].StartedAt) > time.Second {
 				j++
 			}
 			most = max(most, i-j+1)
 		}
-		fmt.Fprintf(w, "retry_budget %4.1f: %d requests, %d arrived; in the worst second %d, %.2f times the rate\n", budget, r.Asked, len(runs), most,
+		fmt.Fprintf(w, "retry_budget %4.1f: %d requests, %d arrived; in the worst second %d, %.2f times the rate\n", budget, r.Scheduled, len(runs), most,
 			float64(most)/rate)
 	}
 	return nil
--- a/internal/bench/quiet.go
+++ b/internal/bench/quiet.go
@@ -83,7 +83,7 @@
 			return err
 		}
 		l := &counting{Listener: ln}
-		s := endpoint.Serve(l, endpoint.Options{Name: fmt.Sprint("n-", i), Work: map[string]time.Duration{"": 5 * time.Millisecond}, Spread: 0.3, Cores: 4})
+		s := endpoint.Serve(l, endpoint.Options{Name: fmt.Sprint("n-", i), ServiceTime: map[string]time.Duration{"": 5 * time.Millisecond}, Spread: 0.3, Cores: 4})
 		defer s.Close()
 		listeners, servers = append(listeners, l), append(servers, s)
 		o.Nodes = append(o.Nodes, s.Addr)
@@ -108,7 +108,7 @@
 	wait(warm)
 	probed, opened, held := make([]float64, nodes), make([]float64, nodes), make([]float64, nodes)
 	for i := range nodes {
-		probed[i], opened[i] = -float64(servers[i].Probed()), -float64(listeners[i].opened.Load())
+		probed[i], opened[i] = -float64(servers[i].ProbeCount()), -float64(listeners[i].opened.Load())
 	}
 	begin, samples := time.Now(), 0.0
 	for time.Since(begin) < o.For-warm && ctx.Err() == nil {
@@ -120,7 +120,7 @@
 	}
 	took := time.Since(begin).Seconds()
 	for i := range nodes {
-		probed[i] = (probed[i] + float64(servers[i].Probed())) / took
+		probed[i] = (probed[i] + float64(servers[i].ProbeCount())) / took
 		opened[i] = (opened[i] + float64(listeners[i].opened.Load())) / took
 		held[i] /= samples
 	}
--- a/internal/bench/quietfleet/quietfleet_test.go
+++ b/internal/bench/quietfleet/quietfleet_test.go
@@ -19,7 +19,7 @@
 		}
 		var servers []*endpoint.Server
 		for range nodes {
-			s, err := endpoint.Start(endpoint.Options{Work: map[string]time.Duration{"": time.Millisecond}, Cores: 4})
+			s, err := endpoint.Start(endpoint.Options{ServiceTime: map[string]time.Duration{"": time.Millisecond}, Cores: 4})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -35,7 +35,7 @@
 		}
 		n := 0
 		for _, s := range servers {
-			n += s.Probed()
+			n += s.ProbeCount()
 		}
 		return float64(n) / nodes / span.Seconds()
 	}
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -147,11 +147,11 @@
 			{"PROTOCOL", func() (*process, error) { return s.daemon(ctx, bin, 1) }},
 			{"routed", func() (*process, error) { return startRouted(ctx, bin, s.dir, s.addrs, 1, "", route) }},
 		} {
-			r, used, err := one(ctx, k.start, client.Options{Rate: rate, For: each, Most: 256})
+			r, used, err := one(ctx, k.start, client.Options{Rate: rate, Duration: each, MaxOpen: 256})
 			if err != nil {
 				return err
 			}
-			us := float64(used.Microseconds()) / float64(max(1, r.Asked))
+			us := float64(used.Microseconds()) / float64(max(1, r.Scheduled))
 			cpu[k.name] = append(cpu[k.name], us)
 			fmt.Fprintf(w, "%-9s served %6.2f%%, p50 %5.2f ms, p99 %5.2f ms, cpu %6.1f us/request\n", k.name, served(r), ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), us)
 		}
@@ -182,7 +182,7 @@
 				return err
 			}
 			for _, dir := range []string{"answer", "request"} {
-				x := differential.Exchange{Method: "GET", Path: "/", Body: -1, Header: http.Header{}, Plan: webapp.Plan{Body: mib << 20}}
+				x := differential.Exchange{Method: "GET", Path: "/", Body: -1, Header: http.Header{}, Plan: webapp.Plan{BodySize: mib << 20}}
 				if dir == "request" {
 					x = differential.Exchange{Method: "POST", Path: "/", Body: mib << 20, Header: http.Header{}}
 				}
@@ -226,7 +226,7 @@
 	if err != nil {
 		return 0, err
 	}
-	q.Header.Set(webapp.PlanHeader, x.Plan.Text())
+	q.Header.Set(webapp.PlanHeader, x.Plan.JSON())
 	if x.Body > 0 {
 		q.Body, q.ContentLength = io.NopCloser(&zeros{int64(x.Body)}), int64(x.Body)
 	}
@@ -272,7 +272,7 @@
 			return err
 		}
 		all = append(all, c)
-		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", webapp.PlanHeader, webapp.Plan{Body: 1 << 30}.Text())
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", webapp.PlanHeader, webapp.Plan{BodySize: 1 << 30}.JSON())
 		var b [1]byte
 		if _, err := c.Read(b[:]); err != nil {
 			return err
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -69,7 +69,7 @@
 				go func() { calls <- operate(part, desk) }()
 			}
 			r := client.New(client.Options{Name: way.name, Network: "tcp", Addr: addr, Tenant: "acme", Classes: classes,
-				Rate: rate, For: each, Most: 256, Seed: uint64(round + 1)}).Run(part)
+				Rate: rate, Duration: each, MaxOpen: 256, Seed: uint64(round + 1)}).Run(part)
 			end()
 			if err := <-calls; err != nil {
 				p.stop()
@@ -77,7 +77,7 @@
 			}
 			took := p.stop()
 			printReport(w, way.name, r, took)
-			cpu[i] = append(cpu[i], took.Seconds()*1e6/float64(max(1, r.Asked)))
+			cpu[i] = append(cpu[i], took.Seconds()*1e6/float64(max(1, r.Scheduled)))
 		}
 	}
 	for i, way := range ways[1:] {
--- a/internal/bench/versions.go
+++ b/internal/bench/versions.go
@@ -24,7 +24,7 @@
 // Versions measures how long a version takes from the service to being applied, what it costs on the request path beside the
 // same time without versions, and what the client of the service holds in memory.
 func Versions(ctx context.Context, w io.Writer, bin string, rate float64, each time.Duration, rounds int) error {
-	s, err := newSite(4, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5, Cores: 8})
+	s, err := newSite(4, endpoint.Options{ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5, Cores: 8})
 	if err != nil {
 		return err
 	}
@@ -102,7 +102,7 @@
 					}
 				}
 			}()
-			r := client.New(client.Options{Name: fmt.Sprintf("c%d%d", round, i), Network: "tcp", Addr: p.addr, Tenant: "acme", Classes: classes, Rate: rate, For: each, Most: 1000, Seed: uint64(round)}).Run(ctx)
+			r := client.New(client.Options{Name: fmt.Sprintf("c%d%d", round, i), Network: "tcp", Addr: p.addr, Tenant: "acme", Classes: classes, Rate: rate, Duration: each, MaxOpen: 1000, Seed: uint64(round)}).Run(ctx)
 			close(stop)
 			if err := <-done; err != nil {
 				return err
@@ -114,8 +114,8 @@
 			}
 			x.gap = append(x.gap, ms(r.LongestGap))
 			x.p50, x.p99, x.p999 = append(x.p50, ms(r.Quantile(0.5))), append(x.p99, ms(r.Quantile(0.99))), append(x.p999, ms(r.Quantile(0.999)))
-			fmt.Fprintf(w, "%-17s asked %5d, served %5d, refused %d, failed %d, lost %d; p50 %5.2f ms, p99 %5.2f, p99.9 %5.2f, longest gap %5.2f\n", name, r.Asked, r.By[client.Served],
-				r.By[client.Refused], r.By[client.Failed], r.By[client.Lost]+r.By[client.TimedOut]+r.By[client.Wrong], ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), ms(r.Quantile(0.999)), ms(r.LongestGap))
+			fmt.Fprintf(w, "%-17s asked %5d, served %5d, refused %d, failed %d, lost %d; p50 %5.2f ms, p99 %5.2f, p99.9 %5.2f, longest gap %5.2f\n", name, r.Scheduled, r.ByVerdict[client.Served],
+				r.ByVerdict[client.Rejected], r.ByVerdict[client.Failed], r.ByVerdict[client.ConnectionLost]+r.ByVerdict[client.TimedOut]+r.ByVerdict[client.WrongResponse], ms(r.Quantile(0.5)), ms(r.Quantile(0.99)), ms(r.Quantile(0.999)), ms(r.LongestGap))
 		}
 	}
 	for _, name := range names {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -43,7 +43,7 @@
 func startCore(t *testing.T, known ...engine.EndpointInfo) (*Pool, upstreams) {
 	t.Helper()
 	u := upstreams{made: make(chan string, 16)}
-	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: scriptedpeer.Quiet})
+	x := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Upstream: u, Log: scriptedpeer.DiscardLog})
 	p := addPool(t, x, "", known...)
 	ctx, cancel := context.WithCancel(context.Background())
 	go x.Run(ctx)
@@ -70,7 +70,7 @@
 	t.Helper()
 	done := make(chan struct{})
 	x.post(func(monotime.Micros) { close(done) })
-	scriptedpeer.Within(t, done, "event")
+	scriptedpeer.Receive(t, done, "event")
 }
 
 // Without any endpoint a core is not ready; with one it is.
@@ -150,17 +150,17 @@
 	x.Submit(c)
 	again := &Call{Client: client, Pool: p, ID: "1", Response: make(chan engine.Response, 1), Request: in}
 	x.Submit(again)
-	if a := scriptedpeer.Within(t, again.Response, "answer to an open id"); a.Verdict != engine.DuplicateID {
+	if a := scriptedpeer.Receive(t, again.Response, "answer to an open id"); a.Verdict != engine.DuplicateID {
 		t.Errorf("the same id once more: verdict %v", a.Verdict)
 	}
 	close(release)
-	if a := scriptedpeer.Within(t, c.Response, "answer"); a.Verdict != engine.Served || a.Result.Response != "yes" {
+	if a := scriptedpeer.Receive(t, c.Response, "answer"); a.Verdict != engine.Served || a.Result.Response != "yes" {
 		t.Errorf("answer %+v", a)
 	}
 	x.ClientGone(c) // too late to matter
 	left := make(chan [2]int, 1)
 	x.post(func(monotime.Micros) { left <- [2]int{x.engine.Calls(), client.OpenCalls()} })
-	if n := scriptedpeer.Within(t, left, "counts"); n != [2]int{} {
+	if n := scriptedpeer.Receive(t, left, "counts"); n != [2]int{} {
 		t.Errorf("left behind: %d calls, %d ids", n[0], n[1])
 	}
 	select {
@@ -209,7 +209,7 @@
 	second.Close()
 	late := second.call(client, "3", release)
 	x.Submit(late)
-	if got := scriptedpeer.Within(t, late.Response, "answer of a closed pool"); got.Verdict != engine.Rejected {
+	if got := scriptedpeer.Receive(t, late.Response, "answer of a closed pool"); got.Verdict != engine.Rejected {
 		t.Errorf("a closed pool took a request: %+v", got)
 	}
 	gone := make(chan bool, 1)
@@ -219,7 +219,7 @@
 	}
 	close(release)
 	for _, c := range []*Call{a, b} {
-		got := scriptedpeer.Within(t, c.Response, "response")
+		got := scriptedpeer.Receive(t, c.Response, "response")
 		if got.Verdict != engine.Served || got.Result.Response != c.Pool.pool.Name() {
 			t.Errorf("response %+v", got)
 		}
@@ -258,22 +258,22 @@
 		return engine.AttemptResult{Status: balancer.Reset, ObservedAt: now}
 	}
 	x.Submit(c)
-	got := scriptedpeer.Within(t, c.Response, "answer")
+	got := scriptedpeer.Receive(t, c.Response, "answer")
 	if got.Verdict != engine.Served || got.Result.Response != "started" {
 		t.Fatalf("answer %+v", got)
 	}
 	over := make(chan struct{})
 	untilDeadline := clock.Duration(c.Request.Deadline + 20_000 - x.config.Clock.Now())
 	defer time.AfterFunc(untilDeadline, func() { close(over) }).Stop()
-	scriptedpeer.Within(t, over, "the deadline")
+	scriptedpeer.Receive(t, over, "the deadline")
 	if n := p.Counts(); n.Queued != 0 || n.InFlight != 0 || n.OpenCalls != 1 {
 		t.Errorf("while it streams: %+v", n)
 	}
 	close(release)
-	if !scriptedpeer.Within(t, ended, "the end of the attempt") {
+	if !scriptedpeer.Receive(t, ended, "the end of the attempt") {
 		t.Error("the deadline ended an answer that had begun")
 	}
-	for end := time.Now().Add(scriptedpeer.Soon); ; {
+	for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
 		if p.Counts().OpenCalls == 0 {
 			break
 		}
@@ -303,9 +303,9 @@
 		return engine.AttemptResult{Status: balancer.Cancelled, ObservedAt: now}
 	}
 	x.Submit(c)
-	scriptedpeer.Within(t, c.Response, "answer")
+	scriptedpeer.Receive(t, c.Response, "answer")
 	x.ClientGone(c)
-	scriptedpeer.Within(t, ended, "the end of the attempt")
+	scriptedpeer.Receive(t, ended, "the end of the attempt")
 }
 
 // A request that cannot be sent again is not retried, whatever its class allows. The balancer decides whether it is
@@ -328,7 +328,7 @@
 			return engine.AttemptResult{Status: balancer.Error, ObservedAt: x.config.Clock.Now(), Response: "said"}
 		}
 		x.Submit(c)
-		got := scriptedpeer.Within(t, c.Response, "answer")
+		got := scriptedpeer.Receive(t, c.Response, "answer")
 		if got.Result == nil || got.Result.Response != "said" || notReplayable != (len(attempts) == 1) ||
 			notReplayable && got.Verdict != engine.Rejected {
 			t.Errorf("not replayable %v: %+v after %d attempts", notReplayable, got, len(attempts))
@@ -350,7 +350,7 @@
 	out, over := make(chan struct{}), make(chan struct{})
 	defer close(over)
 	c := p.call(client, "1", nil)
-	c.Request.Deadline = x.config.Clock.Now() + 2*scriptedpeer.Soon.Microseconds()
+	c.Request.Deadline = x.config.Clock.Now() + 2*scriptedpeer.WaitTimeout.Microseconds()
 	c.Attempt = func(ctx context.Context, attempt *AttemptContext) engine.AttemptResult {
 		if attempt.OnAbort(func() { ended.Store(true) }) && attempt.ClaimSend(x.config.Clock.Now()) {
 			close(out)
@@ -359,7 +359,7 @@
 		return engine.AttemptResult{Status: balancer.Reset, ObservedAt: x.config.Clock.Now()}
 	}
 	x.Submit(c)
-	scriptedpeer.Within(t, out, "the attempt")
+	scriptedpeer.Receive(t, out, "the attempt")
 	x.ClientGone(c)
 	x.sync(t)
 	if !ended.Load() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -64,7 +64,7 @@
 			d := start(t, w.config(t, tc.old, tc.new))
 			k := dial(t, "unix", d.addrs["local"])
 			if tc.want == "" {
-				k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+				k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 				if _, err := k.Read(make([]byte, 1)); err != io.EOF && !strings.Contains(err.Error(), "reset") {
 					t.Errorf("nobody's connection: %v, want it closed", err)
 				}
@@ -89,11 +89,11 @@
 	hold := make(chan struct{})
 	w := newWorld(t, 4, endpoint.Options{})
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if strings.HasPrefix(r.URL.Path, "/pay") {
 				<-hold
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	d := start(t, w.config(t, "name = \"desk\"\n[[client]]", "name = \"desk\"\nopen_requests = 2\nconnections = 4\nbytes_held = \"128KiB\"\n[[client]]"))
@@ -159,15 +159,15 @@
 	hold := make(chan struct{})
 	w := newWorld(t, 1, endpoint.Options{})
 	taken := make(chan struct{}, 1)
-	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	w.endpoints[0].SetFaults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.NoFault })
 	d := start(t, w.config(t))
 	k, silent := dial(t, "tcp", d.addrs["desk"]), dial(t, "tcp", d.addrs["desk"])
 	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	d.stop()
-	silent.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	silent.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("a silent connection: %v, want it closed", err)
 	}
@@ -175,7 +175,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("%s, close %v", resp.Status, resp.Close)
 	}
-	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	for _, path := range []string{"/clients.sock", "/takeover.sock"} {
@@ -191,15 +191,15 @@
 	defer close(hold)
 	w := newWorld(t, 1, endpoint.Options{})
 	taken := make(chan struct{}, 1)
-	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	w.endpoints[0].SetFaults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.NoFault })
 	d := start(t, w.config(t, `drain_within = "3s"`, `drain_within = "400ms"`, `give_up = "1s"`, `give_up = "20s"`))
 	k := dial(t, "tcp", d.addrs["desk"])
 	if _, err := io.WriteString(k, request("pay", 20000, "")); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	d.stop()
-	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
@@ -253,7 +253,7 @@
 		t.Helper()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel() // or it would wait for the address
-		if err := Run(ctx, Options{Config: c, Log: scriptedpeer.Quiet, Seed: 1}); err == nil || !strings.Contains(err.Error(), want) {
+		if err := Run(ctx, Options{Config: c, Log: scriptedpeer.DiscardLog, Seed: 1}); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("error %v, want %q", err, want)
 		}
 	}
@@ -261,7 +261,7 @@
 	ln.Close()
 	d := start(t, c)
 	d.stop()
-	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -20,17 +20,17 @@
 	w := newWorld(t, 2, endpoint.Options{})
 	held := make(chan struct{}, 8)
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if r.URL.Path != "/look/1" {
 				held <- struct{}{}
-				return endpoint.Silent
+				return endpoint.NoResponse
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	old := spawn(t, "daemon", text)
-	scriptedpeer.Within(t, old.lines, "daemon")
+	scriptedpeer.Receive(t, old.lines, "daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	ready := dial(t, "tcp", c.Listeners[0].Address)
 	scriptedpeer.Eventually(t, "ready", func() bool {
@@ -43,13 +43,13 @@
 		if _, err := io.WriteString(k, request(class, 900, "x")); err != nil {
 			t.Fatal(err)
 		}
-		scriptedpeer.Within(t, held, "attempt")
+		scriptedpeer.Receive(t, held, "attempt")
 		open = append(open, k)
 	}
 	old.Process.Kill()
 	<-old.ended
 	for _, k := range open {
-		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		if n, err := k.Read(make([]byte, 1)); err == nil {
 			t.Errorf("%d bytes of an answer that nobody gave", n)
 		}
@@ -89,7 +89,7 @@
 		sits = append(sits, c)
 	}
 	for i, c := range sits[:15] {
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
 			t.Fatalf("connection %d of 25, 10 allowed: %v, want it closed", i, err)
 		}
@@ -112,7 +112,7 @@
 // Slow readers on every connection of one client, each with an answer as large as one may be, hold up nobody else,
 // and what is held for them is given back when they go.
 func TestSlowReaders(t *testing.T) {
-	w := newWorld(t, 4, endpoint.Options{Body: 60 << 10})
+	w := newWorld(t, 4, endpoint.Options{MinResponseSize: 60 << 10})
 	d := start(t, w.config(t, "name = \"desk\"\n[[client]]", "name = \"desk\"\nconnections = 60\nbytes_held = \"1MiB\"\n[[client]]"))
 	var slow []net.Conn
 	for range 60 {
@@ -128,10 +128,10 @@
 		slow = append(slow, c)
 	}
 	other := client.New(client.Options{Name: "other", Network: "unix", Addr: d.addrs["local"], Tenant: "acme", Rate: 100,
-		For: time.Second, Classes: []client.Class{{Name: "look", Share: 1, Method: "GET", Wait: time.Second}}})
+		Duration: time.Second, Classes: []client.Class{{Name: "look", Share: 1, Method: "GET", Timeout: time.Second}}})
 	// On a busy machine a few may be refused, truly; none is lost, failed or held up.
-	if r := other.Run(context.Background()); r.By[client.Served]+r.By[client.Refused] != r.Asked || r.By[client.Served] < r.Asked*9/10 || r.Asked < 50 {
-		t.Errorf("another client: %d asked, %v", r.Asked, r.By)
+	if r := other.Run(context.Background()); r.ByVerdict[client.Served]+r.ByVerdict[client.Rejected] != r.Scheduled || r.ByVerdict[client.Served] < r.Scheduled*9/10 || r.Scheduled < 50 {
+		t.Errorf("another client: %d asked, %v", r.Scheduled, r.ByVerdict)
 	}
 	for _, c := range slow {
 		c.Close()
@@ -152,7 +152,7 @@
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	t.Setenv("DUNLINSAILD_TEST_FILES", "40")
 	p := spawn(t, "daemon", text)
-	scriptedpeer.Within(t, p.lines, "daemon")
+	scriptedpeer.Receive(t, p.lines, "daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	k := dial(t, "tcp", c.Listeners[0].Address)
 	scriptedpeer.Eventually(t, "ready", func() bool {
@@ -168,7 +168,7 @@
 	served := 0
 	for range 30 { // on the connection that there was, or on a new one if that has made room
 		if _, err := io.WriteString(k, request("look", 900, "")); err == nil {
-			k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+			k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 			if resp, err := http.ReadResponse(k.r, nil); err == nil {
 				io.Copy(io.Discard, resp.Body)
 				if resp.StatusCode == 200 {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -33,27 +33,27 @@
 		default:
 			close(ch)
 		}
-		return endpoint.Silent
+		return endpoint.NoResponse
 	}
-	return endpoint.None
+	return endpoint.NoFault
 }
 
 // Twenty client processes share one instance. Three are killed with a request open, the instance is replaced twice,
 // one endpoint drains and one dies. What the clients got is joined with what the endpoints ran.
 func TestTwentyClientProcesses(t *testing.T) {
 	const clients, killed = 20, 3
-	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 4 * time.Millisecond, "book": 8 * time.Millisecond},
+	w := newWorld(t, 6, endpoint.Options{ServiceTime: map[string]time.Duration{"": 4 * time.Millisecond, "book": 8 * time.Millisecond},
 		Spread: 0.5, Cores: 4})
 	v := &victims{held: map[string]chan struct{}{}}
 	for i := range killed {
 		v.held[fmt.Sprint("c", i)] = make(chan struct{})
 	}
 	for _, e := range w.endpoints {
-		e.Faults(v.fault)
+		e.SetFaults(v.fault)
 	}
 	text := w.file("127.0.0.1:0", freeAddr(t))
 	first := spawn(t, "daemon", text)
-	scriptedpeer.Within(t, first.lines, "the first daemon")
+	scriptedpeer.Receive(t, first.lines, "the first daemon")
 	c := w.config(t, "127.0.0.1:0", strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0])
 	scriptedpeer.Eventually(t, "a list", func() bool {
 		resp, err := http.Get("http://" + c.Listeners[0].Address + "/-/ready")
@@ -67,10 +67,10 @@
 	var all []*program
 	for i := range clients {
 		o := client.Options{Name: fmt.Sprint("c", i), Network: "tcp", Addr: c.Listeners[0].Address, Tenant: "acme", Rate: 20,
-			For: 7 * time.Second, Seed: uint64(i), Classes: []client.Class{
-				{Name: "look", Share: 0.6, Method: "GET", Wait: 2 * time.Second},
-				{Name: "book", Share: 0.25, Method: "POST", Keyed: true, Body: 400, Wait: 2 * time.Second},
-				{Name: "pay", Share: 0.15, Method: "POST", Body: 400, Wait: 2 * time.Second}}}
+			Duration: 7 * time.Second, Seed: uint64(i), Classes: []client.Class{
+				{Name: "look", Share: 0.6, Method: "GET", Timeout: 2 * time.Second},
+				{Name: "book", Share: 0.25, Method: "POST", SendIdempotencyKey: true, BodySize: 400, Timeout: 2 * time.Second},
+				{Name: "pay", Share: 0.15, Method: "POST", BodySize: 400, Timeout: 2 * time.Second}}}
 		if i%2 == 0 {
 			o.Network, o.Addr = "unix", strings.TrimPrefix(c.Listeners[1].Address, "unix:")
 		}
@@ -81,12 +81,12 @@
 		all = append(all, spawn(t, "client", string(with)))
 	}
 	for i := range killed {
-		scriptedpeer.Within(t, v.held[fmt.Sprint("c", i)], "a request of a client that is to be killed")
+		scriptedpeer.Receive(t, v.held[fmt.Sprint("c", i)], "a request of a client that is to be killed")
 		all[i].Process.Kill()
 	}
 	second := spawn(t, "daemon", text)
-	scriptedpeer.Within(t, second.lines, "the second daemon")
-	if err := scriptedpeer.Within(t, first.ended, "end of the first daemon"); err != nil {
+	scriptedpeer.Receive(t, second.lines, "the second daemon")
+	if err := scriptedpeer.Receive(t, first.ended, "end of the first daemon"); err != nil {
 		t.Errorf("the first daemon ended with %v", err)
 	}
 	drained := w.entry(5)
@@ -96,7 +96,7 @@
 	w.endpoints[4].Close() // dies; the roster does not know yet
 	gone := w.entry(4)
 	third := start(t, c)
-	if err := scriptedpeer.Within(t, second.ended, "end of the second daemon"); err != nil {
+	if err := scriptedpeer.Receive(t, second.ended, "end of the second daemon"); err != nil {
 		t.Errorf("the second daemon ended with %v", err)
 	}
 	gone.Lifecycle = "removed"
@@ -133,10 +133,10 @@
 	asked := 0
 	for verdict, n := range by {
 		asked += n
-		if verdict != client.Served && verdict != client.Refused && verdict != client.Failed {
+		if verdict != client.Served && verdict != client.Rejected && verdict != client.Failed {
 			for id, r := range got {
 				if r.Verdict == verdict {
-					t.Errorf("%s %s: %v after %v: %s", r.Class, id, verdict, r.Took, r.Why)
+					t.Errorf("%s %s: %v after %v: %s", r.Class, id, verdict, r.Latency, r.ErrorText)
 				}
 			}
 		}
@@ -145,8 +145,8 @@
 		t.Errorf("%d requests ended, by verdict %v", asked, by)
 	}
 	for _, run := range w.ledger.Runs() {
-		if late := run.At.Sub(told) - c.Rules.DrainGrace.Duration; run.Endpoint == "s-5" && late > 0 {
-			t.Errorf("the draining endpoint got %s %v past the grace", run.ID, late)
+		if late := run.StartedAt.Sub(told) - c.Rules.DrainGrace.Duration; run.Endpoint == "s-5" && late > 0 {
+			t.Errorf("the draining endpoint got %s %v past the grace", run.TraceID, late)
 		}
 	}
 	// All is given back.
@@ -168,12 +168,12 @@
 	t.Helper()
 	ran, effects := map[string]int{}, map[string]int{}
 	for _, r := range runs {
-		if _, known := got[r.ID]; !known && !lost(r.ID) {
-			t.Errorf("an endpoint ran %s, which no client asked for", r.ID)
+		if _, known := got[r.TraceID]; !known && !lost(r.TraceID) {
+			t.Errorf("an endpoint ran %s, which no client asked for", r.TraceID)
 		}
-		ran[r.ID]++
-		if r.Effect {
-			effects[r.ID]++
+		ran[r.TraceID]++
+		if r.TookEffect {
+			effects[r.TraceID]++
 		}
 	}
 	for id, n := range effects {
@@ -191,7 +191,7 @@
 		switch {
 		case r.Verdict == client.Served && ran[id] == 0:
 			t.Errorf("%s was served, and no endpoint ran it", id)
-		case r.Verdict == client.Refused && r.Class != "look" && ran[id] > 0:
+		case r.Verdict == client.Rejected && r.Class != "look" && ran[id] > 0:
 			t.Errorf("%s %s was refused, as if a repeat were harmless, and it ran", r.Class, id)
 		}
 	}
@@ -200,18 +200,18 @@
 // A client process that is killed gives back all that was its own: descriptors, connections, places, bytes, memory.
 // Its attempts are ended by their class's rules.
 func TestKilledClientGivesAllBack(t *testing.T) {
-	w := newWorld(t, 3, endpoint.Options{Body: 60 << 10})
+	w := newWorld(t, 3, endpoint.Options{MinResponseSize: 60 << 10})
 	hold := make(chan struct{})
 	var once sync.Once
 	defer once.Do(func() { close(hold) })
 	open := make(chan struct{}, 64)
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if r.URL.Path == "/pay/1" {
 				open <- struct{}{}
-				return endpoint.Silent
+				return endpoint.NoResponse
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	d := start(t, w.config(t, `give_up = "1s"`, `give_up = "20s"`))
@@ -245,10 +245,10 @@
 			request("look", 900, "")[9:], // no request at all
 		} {
 			p := spawn(t, "talker", "unix "+local+" "+say)
-			scriptedpeer.Within(t, p.lines, "a client process")
+			scriptedpeer.Receive(t, p.lines, "a client process")
 			all = append(all, p)
 		}
-		scriptedpeer.Within(t, open, "an open request")
+		scriptedpeer.Receive(t, open, "an open request")
 		for _, p := range all {
 			p.Process.Signal(syscall.SIGKILL)
 			for range p.lines {
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -19,7 +19,7 @@
 // What cannot be changed while serving is changed all the same, under load: nothing is lost, connections go on,
 // a request that is open ends where it is, and what was learned is there.
 func TestChangesUnderLoad(t *testing.T) {
-	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
+	w := newWorld(t, 3, endpoint.Options{ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	was := w.config(t, "127.0.0.1:0", freeAddr(t))
 	addr := was.Listeners[0].Address
 	d := start(t, was)
@@ -32,17 +32,17 @@
 	hold := make(chan struct{})
 	var held atomic.Int32
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if r.URL.Path == "/pay/1" {
 				held.Add(1)
 				<-hold
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	load := steadyClient(addr, 400, 2*time.Second, func(r client.Result) {
 		if r.Verdict != client.Served {
-			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
+			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Status, r.Err)
 		}
 	})
 	report := make(chan client.Report, 1)
@@ -75,9 +75,9 @@
 	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("the request open at the changes: %s, close %v", resp.Status, resp.Close)
 	}
-	r := scriptedpeer.Within(t, report, "report")
-	if r.By[client.Served] != r.Asked || r.Asked < 500 {
-		t.Errorf("%d asked, %v", r.Asked, r.By)
+	r := scriptedpeer.Receive(t, report, "report")
+	if r.ByVerdict[client.Served] != r.Scheduled || r.Scheduled < 500 {
+		t.Errorf("%d asked, %v", r.Scheduled, r.ByVerdict)
 	}
 	t.Logf("longest gap between answers %v, p99 %v", r.LongestGap, r.Quantile(0.99))
 	checkRuns(t, w.ledger.Runs())
@@ -92,7 +92,7 @@
 	scriptedpeer.Eventually(t, "the ends of those before", func() bool {
 		lives := make(chan int, 1)
 		d.process.post(func() { lives <- d.process.running })
-		return scriptedpeer.Within(t, lives, "lives") == 1
+		return scriptedpeer.Receive(t, lives, "lives") == 1
 	})
 }
 
@@ -125,17 +125,17 @@
 	addr := freeAddr(t)
 	d := start(t, w.config(t, "127.0.0.1:0", addr))
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
-	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	w.endpoints[0].SetFaults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.NoFault })
 	k := dial(t, "tcp", addr)
 	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	silent := scripteddiscovery.New(t)
 	d.reload <- nil
 	d.next <- w.config(t, "127.0.0.1:0", addr, w.discovery.Addr, silent.Addr, "worth = 5.0", "worth = 4.0")
-	scriptedpeer.Within(t, silent.After, "the new generation")
-	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
+	scriptedpeer.Receive(t, silent.Requests, "the new generation")
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
 	if err := Run(ctx, Options{Config: w.config(t, "127.0.0.1:0", addr), Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), "another takeover is under way") {
 		t.Errorf("another process: %v", err)
@@ -145,11 +145,11 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 {
 		t.Errorf("the request that was open: %s", resp.Status)
 	}
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	if _, err := k.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("its connection: %v, want it closed", err)
 	}
-	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -57,7 +57,7 @@
 func newWorld(t *testing.T, n int, o endpoint.Options) *testFleet {
 	t.Helper()
 	w := &testFleet{ledger: &endpoint.Ledger{}, dir: t.TempDir()}
-	o.Ledger, o.Keyed = w.ledger, 400*time.Millisecond
+	o.Ledger, o.IdempotencyWindow = w.ledger, 400*time.Millisecond
 	var entries []discovery.Instance
 	for i := range n {
 		o.Name = fmt.Sprint("s-", i)
@@ -202,7 +202,7 @@
 	t.Helper()
 	r.reload <- syscall.SIGHUP
 	r.next <- c
-	return scriptedpeer.Within(t, r.answered, "word of the new file")
+	return scriptedpeer.Receive(t, r.answered, "word of the new file")
 }
 
 // changed is change for a file that must be taken; it returns the generation that serves by it.
@@ -213,15 +213,15 @@
 	}
 	now := make(chan *generation, 1)
 	r.process.post(func() { now <- r.process.serving.generation })
-	return scriptedpeer.Within(t, now, "the generation")
+	return scriptedpeer.Receive(t, now, "the generation")
 }
 
 // start starts a daemon and waits until it is ready.
 func start(t *testing.T, c *config.Config) *running {
 	t.Helper()
 	r, serving := launch(t, c, testLog())
-	r.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
-	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
+	r.addrs = scriptedpeer.Receive(t, serving, "a daemon that serves")
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
 	if err := r.core.WaitReady(ctx); err != nil {
 		t.Fatal("not ready: ", err)
@@ -233,7 +233,7 @@
 type options struct{ config *config.Config }
 
 // freeAddr returns an address on which nothing listens: the second process must name the same as the first.
-func freeAddr(t *testing.T) string { return scriptedpeer.Nowhere(t) }
+func freeAddr(t *testing.T) string { return scriptedpeer.ClosedAddress(t) }
 
 func base64(b []byte) string { return b64.StdEncoding.EncodeToString(b) }
 
@@ -241,7 +241,7 @@
 	if os.Getenv("DUNLINSAILD_TEST_LOG") != "" {
 		return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
-	return scriptedpeer.Quiet
+	return scriptedpeer.DiscardLog
 }
 
 var lastID atomic.Uint64
@@ -283,7 +283,7 @@
 
 func (k *clientConn) answer(t *testing.T) (*http.Response, string) {
 	t.Helper()
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
--- a/internal/daemon/history_test.go
+++ b/internal/daemon/history_test.go
@@ -134,7 +134,7 @@
 				h.runs[id]++
 			}
 		})
-		a.Fault(func(r *http.Request) bool {
+		a.SetFault(func(r *http.Request) bool {
 			mangle(r.Header)
 			if key := r.Header.Get("Idempotency-Key"); strings.HasPrefix(r.URL.Path, "/keyed/") {
 				h.mu.Lock()
@@ -158,12 +158,12 @@
 			for i := range 60 {
 				id := fmt.Sprintf("c%d-%d", c, i)
 				e := end{kind: []string{"safe", "keyed", "unsafe"}[rng.IntN(3)], planned: []int{200, 200, 404, 409, 422, 301}[rng.IntN(6)]}
-				path, size, plan := e.kind, rng.IntN(2000), webapp.Plan{Status: e.planned, Body: rng.IntN(3000)}
+				path, size, plan := e.kind, rng.IntN(2000), webapp.Plan{Status: e.planned, BodySize: rng.IntN(3000)}
 				switch rng.IntN(5) {
 				case 0:
 					size = 150_000 + rng.IntN(200_000)
 				case 1:
-					plan.Body = 150_000 + rng.IntN(200_000)
+					plan.BodySize = 150_000 + rng.IntN(200_000)
 				case 2:
 					path, e.kind = "files", "unsafe"
 				}
@@ -181,7 +181,7 @@
 					q.ContentLength = int64(size)
 				}
 				q.Header.Set("X-Id", id)
-				q.Header.Set(webapp.PlanHeader, plan.Text())
+				q.Header.Set(webapp.PlanHeader, plan.JSON())
 				if e.kind == "keyed" {
 					q.Header.Set("Idempotency-Key", "k"+id)
 				}
@@ -192,7 +192,7 @@
 				} else {
 					n, err := io.Copy(io.Discard, resp.Body)
 					resp.Body.Close()
-					e.status, e.own, e.broken, e.length = resp.StatusCode, resp.Header.Get("Proxy-Status") != "", err != nil, int(n) == plan.Body
+					e.status, e.own, e.broken, e.length = resp.StatusCode, resp.Header.Get("Proxy-Status") != "", err != nil, int(n) == plan.BodySize
 				}
 				h.mu.Lock()
 				if _, twice := h.got[id]; twice {
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -34,22 +34,22 @@
 	addr := d.addrs["desk"]
 	r := steadyClient(addr, 300, time.Second, nil).Run(context.Background())
 	c := client.New(client.Options{Name: "again", Network: "tcp", Addr: addr, Tenant: "acme"})
-	book := client.Class{Name: "book", Method: http.MethodPost, Keyed: true, Body: 10, Wait: time.Second}
+	book := client.Class{Name: "book", Method: http.MethodPost, SendIdempotencyKey: true, BodySize: 10, Timeout: time.Second}
 	for _, id := range []string{"one", "two"} {
-		if got := c.Ask(book, id, "patient-4711"); got.Verdict != client.Served {
+		if got := c.Send(book, id, "patient-4711"); got.Verdict != client.Served {
 			t.Fatalf("%+v", got)
 		}
 	}
 	for _, s := range w.endpoints {
-		s.Faults(func(*http.Request) endpoint.Fault { return endpoint.Fail })
+		s.SetFaults(func(*http.Request) endpoint.Fault { return endpoint.InternalError })
 	}
-	if got := c.Ask(client.Class{Name: "pay", Method: http.MethodPost, Wait: time.Second}, "three", ""); got.Verdict != client.Failed {
+	if got := c.Send(client.Class{Name: "pay", Method: http.MethodPost, Timeout: time.Second}, "three", ""); got.Verdict != client.Failed {
 		t.Fatalf("%+v", got)
 	}
 	for _, s := range w.endpoints {
-		s.Faults(func(*http.Request) endpoint.Fault { return endpoint.Silent })
+		s.SetFaults(func(*http.Request) endpoint.Fault { return endpoint.NoResponse })
 	}
-	if got := c.Ask(client.Class{Name: "pay", Method: http.MethodPost, Wait: 50 * time.Millisecond}, "four", ""); got.Verdict != client.TimedOut && got.Verdict != client.Failed {
+	if got := c.Send(client.Class{Name: "pay", Method: http.MethodPost, Timeout: 50 * time.Millisecond}, "four", ""); got.Verdict != client.TimedOut && got.Verdict != client.Failed {
 		t.Fatalf("%+v", got)
 	}
 	c.Close()
@@ -60,8 +60,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(rec.Runs) != 1 || rec.Runs[0].Missing != 0 || rec.Runs[0].Segments < 3 || len(rec.Requests) != r.Asked+4 || len(rec.Problems) > 0 {
-		t.Fatalf("%d requests of %d, runs %+v, problems %q", len(rec.Requests), r.Asked+4, rec.Runs, rec.Problems)
+	if len(rec.Runs) != 1 || rec.Runs[0].Missing != 0 || rec.Runs[0].Segments < 3 || len(rec.Requests) != r.Scheduled+4 || len(rec.Problems) > 0 {
+		t.Fatalf("%d requests of %d, runs %+v, problems %q", len(rec.Requests), r.Scheduled+4, rec.Runs, rec.Problems)
 	}
 	byKey, verdicts := map[uint64]int{}, map[string]int{}
 	for _, q := range rec.Requests {
@@ -90,7 +90,7 @@
 			t.Errorf("%s holds a patient's number", name)
 		}
 	}
-	if n := len(rec.Stories()); n != r.Asked+3 {
+	if n := len(rec.Stories()); n != r.Scheduled+3 {
 		t.Errorf("%d stories", n)
 	}
 }
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -112,9 +112,9 @@
 	k := dial(t, "tcp", addr)
 	plan := webapp.Plan{Header: map[string][]string{"Server": {"x"}, "Cache-Control": {"public"}, "X-Kept": {"1", "2"}}}
 	resp, _ := k.request(t, "GET /cards/../cards/7?q=1 HTTP/1.1\r\nHost: outside\r\nCookie: c\r\nX-Via: client\r\nX-Hop: 1\r\nTraceparent: 00-1-2-01\r\n"+
-		"X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Expires-In-Ms: 5000\r\nConnection: x-own\r\nX-Own: 1\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
-	var got webapp.Got
-	if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
+		"X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Expires-In-Ms: 5000\r\nConnection: x-own\r\nX-Own: 1\r\n"+webapp.PlanHeader+": "+plan.JSON()+"\r\n\r\n")
+	var got webapp.ObservedRequest
+	if err := json.Unmarshal([]byte(resp.Header.Get(webapp.ObservedRequestHeader)), &got); err != nil {
 		t.Fatal(resp.Status, err)
 	}
 	h := got.Header
@@ -143,8 +143,8 @@
 	} {
 		_, addr := routed(t, eight+tc.edits, "ADDRS", addrs(a))
 		resp, _ := dial(t, "tcp", addr).request(t, "GET / HTTP/1.1\r\nHost: h:1\r\nX-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\n\r\n")
-		var got webapp.Got
-		if err := json.Unmarshal([]byte(resp.Header.Get(webapp.GotHeader)), &got); err != nil {
+		var got webapp.ObservedRequest
+		if err := json.Unmarshal([]byte(resp.Header.Get(webapp.ObservedRequestHeader)), &got); err != nil {
 			t.Fatal(err)
 		}
 		if text := webapp.HeaderText(got.Header); text != tc.want {
@@ -168,9 +168,9 @@
 	} {
 		a, b := newApp(t, nil), newApp(t, nil)
 		_, addr := routed(t, eight, "ADDRS", addrs(a, b))
-		plan := webapp.Plan{Status: tc.status, Header: tc.header, Body: 5}
-		resp, body := dial(t, "tcp", addr).request(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
-		if n := a.Asked() + b.Asked(); resp.StatusCode != tc.status || resp.Header.Get("Proxy-Status") != "" || len(body) != 5 ||
+		plan := webapp.Plan{Status: tc.status, Header: tc.header, BodySize: 5}
+		resp, body := dial(t, "tcp", addr).request(t, tc.method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"+webapp.PlanHeader+": "+plan.JSON()+"\r\n\r\n")
+		if n := a.RequestCount() + b.RequestCount(); resp.StatusCode != tc.status || resp.Header.Get("Proxy-Status") != "" || len(body) != 5 ||
 			resp.Header.Get("Retry-After") != tc.header.Get("Retry-After") || n != tc.tries {
 			t.Errorf("%s %d: %s %v %q after %d tries, want %d", tc.method, tc.status, resp.Status, resp.Header, body, n, tc.tries)
 		}
@@ -202,9 +202,9 @@
 // goes on in the old one to its end.
 func TestTakeoverOfPools(t *testing.T) {
 	more := make(chan struct{})
-	streams := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	streams := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			q, err := scriptedpeer.Take(r)
+			q, err := scriptedpeer.ReadRequest(r)
 			if err != nil {
 				return
 			}
@@ -244,14 +244,14 @@
 	}
 	streaming := dial(t, "tcp", c.Listeners[0].Address)
 	io.WriteString(streaming, "GET /listed/stream HTTP/1.1\r\nHost: h\r\n\r\n")
-	streaming.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	streaming.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(streaming.r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	list(a, b) // the new process reads it at its start
 	second, serving := launch(t, c, testLog())
-	second.addrs = scriptedpeer.Within(t, serving, "the second daemon")
+	second.addrs = scriptedpeer.Receive(t, serving, "the second daemon")
 	s := second.core.Snapshot()
 	for _, name := range []string{"listed", "file"} {
 		p := s.Pool(name)
@@ -271,7 +271,7 @@
 	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != 200_000 {
 		t.Errorf("the answer that streamed: %d bytes, %v", n, err)
 	}
-	if err := scriptedpeer.Within(t, first.ended, "the first daemon's end"); err != nil {
+	if err := scriptedpeer.Receive(t, first.ended, "the first daemon's end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -25,7 +25,7 @@
 func restart(t *testing.T, old *running, c *options) *running {
 	t.Helper()
 	next := start(t, c.config)
-	if err := scriptedpeer.Within(t, old.ended, "end of the old one"); err != nil {
+	if err := scriptedpeer.Receive(t, old.ended, "end of the old one"); err != nil {
 		t.Errorf("the old one ended with %v", err)
 	}
 	return next
@@ -37,17 +37,17 @@
 }
 
 func steadyClientOptions(addr string, rate float64, length time.Duration, done func(client.Result)) client.Options {
-	return client.Options{Name: "desk", Network: "tcp", Addr: addr, Tenant: "acme", Rate: rate, For: length, Seed: 3,
+	return client.Options{Name: "desk", Network: "tcp", Addr: addr, Tenant: "acme", Rate: rate, Duration: length, Seed: 3,
 		OnDone: done, Classes: []client.Class{
-			{Name: "look", Share: 0.7, Method: "GET", Wait: time.Second},
-			{Name: "book", Share: 0.2, Method: "POST", Keyed: true, Body: 300, Wait: time.Second},
-			{Name: "pay", Share: 0.1, Method: "POST", Body: 300, Wait: time.Second}}}
+			{Name: "look", Share: 0.7, Method: "GET", Timeout: time.Second},
+			{Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 300, Timeout: time.Second},
+			{Name: "pay", Share: 0.1, Method: "POST", BodySize: 300, Timeout: time.Second}}}
 }
 
 // Two handovers in a row under load: no connection is refused or reset, connections at rest and in use go on, each
 // request has its one answer, and what was learned is there.
 func TestTakeover(t *testing.T) {
-	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
+	w := newWorld(t, 3, endpoint.Options{ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
 	d := start(t, c.config)
 	addr := d.addrs["desk"]
@@ -56,12 +56,12 @@
 	hold := make(chan struct{})
 	var held atomic.Int32
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if r.URL.Path == "/pay/1" {
 				held.Add(1)
 				<-hold
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	for _, k := range []*clientConn{atRest, unix} {
@@ -73,7 +73,7 @@
 	load := steadyClient(addr, 400, 2*time.Second, func(r client.Result) {
 		if r.Verdict != client.Served {
 			lost.Add(1)
-			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Code, r.Err)
+			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Status, r.Err)
 		}
 	})
 	report := make(chan client.Report, 1)
@@ -85,7 +85,7 @@
 	scriptedpeer.Eventually(t, "an open request", func() bool { return held.Load() == 1 })
 	// The first handover ends once the open request has its answer, from the old process.
 	second, serving := launch(t, c.config, testLog())
-	second.addrs = scriptedpeer.Within(t, serving, "second")
+	second.addrs = scriptedpeer.Receive(t, serving, "second")
 	if n, _ := d.front.ConnectionCounts(); n == 0 {
 		t.Error("the first has ended with a request open")
 	}
@@ -93,7 +93,7 @@
 	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("the request open at the handover: %s, close %v", resp.Status, resp.Close)
 	}
-	if err := scriptedpeer.Within(t, d.ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end of the first"); err != nil {
 		t.Error(err)
 	}
 	third := restart(t, second, c)
@@ -102,9 +102,9 @@
 			t.Errorf("the connection %s, two processes later: %s", name, resp.Status)
 		}
 	}
-	r := scriptedpeer.Within(t, report, "report")
-	if r.By[client.Served] != r.Asked || r.Asked < 500 {
-		t.Errorf("%d asked, %v", r.Asked, r.By)
+	r := scriptedpeer.Receive(t, report, "report")
+	if r.ByVerdict[client.Served] != r.Scheduled || r.Scheduled < 500 {
+		t.Errorf("%d asked, %v", r.Scheduled, r.ByVerdict)
 	}
 	t.Logf("longest gap between answers %v, p99 %v", r.LongestGap, r.Quantile(0.99))
 	checkRuns(t, w.ledger.Runs())
@@ -122,12 +122,12 @@
 	w := newWorld(t, 2, endpoint.Options{})
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
 	for _, e := range w.endpoints {
-		e.Faults(func(r *http.Request) endpoint.Fault {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
 			if r.URL.Path == "/pay/1" {
 				taken <- struct{}{}
 				<-hold
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	}
 	addr := freeAddr(t)
@@ -136,10 +136,10 @@
 	if _, err := io.WriteString(k, request("pay", 900, "")); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	second := start(t, w.config(t, "127.0.0.1:0", addr, `drain_within = "3s"`, `drain_within = "50ms"`))
 	third := start(t, w.config(t, "127.0.0.1:0", addr))
-	if err := scriptedpeer.Within(t, second.ended, "end of the second"); err != nil {
+	if err := scriptedpeer.Receive(t, second.ended, "end of the second"); err != nil {
 		t.Error(err)
 	}
 	for range 20 {
@@ -157,7 +157,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 {
 		t.Errorf("the open request: %s", resp.Status)
 	}
-	if err := scriptedpeer.Within(t, first.ended, "end of the first"); err != nil {
+	if err := scriptedpeer.Receive(t, first.ended, "end of the first"); err != nil {
 		t.Error(err)
 	}
 }
@@ -167,8 +167,8 @@
 	t.Helper()
 	effects := map[string]int{}
 	for _, r := range runs {
-		if r.Effect && r.Class != "look" {
-			effects[r.Class+r.ID+r.Key]++
+		if r.TookEffect && r.Class != "look" {
+			effects[r.Class+r.TraceID+r.IdempotencyKey]++
 		}
 	}
 	for what, n := range effects {
@@ -187,7 +187,7 @@
 	// One more listener, at an address that another process holds.
 	bad := w.config(t, "127.0.0.1:0", c.Listeners[0].Address, "[[client]]\nname = \"desk\"",
 		"[[listener]]\nname = \"more\"\naddress = \""+w.discovery.Addr+"\"\nclient = \"desk\"\n[[client]]\nname = \"desk\"")
-	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
 	if err := Run(ctx, Options{Config: bad, Log: testLog(), Seed: 2}); err == nil || !strings.Contains(err.Error(), `listener "more"`) {
 		t.Errorf("the new one: %v", err)
@@ -313,17 +313,17 @@
 				t.Fatal(resp.Status)
 			}
 			held, hold := make(chan struct{}, 1), make(chan struct{})
-			w.endpoints[0].Faults(func(r *http.Request) endpoint.Fault {
+			w.endpoints[0].SetFaults(func(r *http.Request) endpoint.Fault {
 				if r.URL.Path == "/pay/1" {
 					held <- struct{}{}
 					<-hold
 				}
-				return endpoint.None
+				return endpoint.NoFault
 			})
 			if _, err := io.WriteString(busy, request("pay", 900, "x")); err != nil {
 				t.Fatal(err)
 			}
-			scriptedpeer.Within(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
+			scriptedpeer.Receive(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
 			tc.do(connectAsSuccessor(t, c.Takeover.Socket))
 			close(hold)
 			if resp, _ := busy.answer(t); resp.StatusCode != 200 {
@@ -398,7 +398,7 @@
 		}
 	}()
 	took()
-	c := scriptedpeer.Within(t, got, "successor")
+	c := scriptedpeer.Receive(t, got, "successor")
 	t.Cleanup(func() { c.Close() })
 	g := &scriptedPredecessor{&scriptedSuccessor{t, c}, ln}
 	g.expect(decide.Hello)
@@ -463,7 +463,7 @@
 			}
 			g.expect(decide.Prepared)
 			g.send(decide.Activate, "")
-			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
+			next.addrs = scriptedpeer.Receive(t, serving, "a daemon that serves")
 			s := next.core.Snapshot().Pools[0]
 			known := len(s.Learned.Endpoints) == 1 && len(s.Learned.Endpoints[0].BreakerWindow) > 0
 			if known != tc.taken {
@@ -526,7 +526,7 @@
 			g := actAsPredecessor(t, c.Takeover.Socket, func() { next, serving = launch(t, c, testLog()) })
 			tc.do(g)
 			if !tc.serves {
-				if err := scriptedpeer.Within(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
+				if err := scriptedpeer.Receive(t, next.ended, "end"); err == nil || !strings.Contains(err.Error(), "says no") {
 					t.Errorf("it ended with %v", err)
 				}
 				if len(serving) != 0 {
@@ -534,7 +534,7 @@
 				}
 				return
 			}
-			next.addrs = scriptedpeer.Within(t, serving, "a daemon that serves")
+			next.addrs = scriptedpeer.Receive(t, serving, "a daemon that serves")
 			scriptedpeer.Eventually(t, "answers", func() bool {
 				resp, _ := dial(t, "tcp", next.addrs["desk"]).request(t, request("look", 900, ""))
 				return resp.StatusCode == 200
@@ -569,7 +569,7 @@
 	}
 	m.CloseFiles()
 	k.expect(decide.Done)
-	if err := scriptedpeer.Within(t, d.ended, "end of the old one"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end of the old one"); err != nil {
 		t.Error(err)
 	}
 
@@ -583,9 +583,9 @@
 	unready.Discovery.Address = mute.Addr
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, Options{Config: &unready, Log: testLog(), Seed: 3}) }()
-	scriptedpeer.Within(t, mute.After, "a new process that starts")
+	scriptedpeer.Receive(t, mute.Requests, "a new process that starts")
 	cancel()
-	if err := scriptedpeer.Within(t, ended, "end of the new one"); err != nil {
+	if err := scriptedpeer.Receive(t, ended, "end of the new one"); err != nil {
 		t.Errorf("the new one: %v", err)
 	}
 	d.stillServes(t)
@@ -594,7 +594,7 @@
 // While both are alive an endpoint that is warming up gets no more than from one alone, and one that drains
 // gets nothing past the grace from either.
 func TestWarmUpBudgetIsNotSpentTwice(t *testing.T) {
-	w := newWorld(t, 3, endpoint.Options{Work: map[string]time.Duration{"": 3 * time.Millisecond}})
+	w := newWorld(t, 3, endpoint.Options{ServiceTime: map[string]time.Duration{"": 3 * time.Millisecond}})
 	c := &options{w.config(t, "127.0.0.1:0", freeAddr(t))}
 	d := start(t, c.config)
 	addr := d.addrs["desk"]
@@ -610,17 +610,17 @@
 	w.discovery.Set(warming, drained)
 	listed := time.Now()
 	next := restart(t, d, c)
-	r := scriptedpeer.Within(t, report, "report")
-	if r.By[client.Served] < r.Asked*95/100 {
-		t.Errorf("%d asked, %v", r.Asked, r.By)
+	r := scriptedpeer.Receive(t, report, "report")
+	if r.ByVerdict[client.Served] < r.Scheduled*95/100 {
+		t.Errorf("%d asked, %v", r.Scheduled, r.ByVerdict)
 	}
 	grace := c.config.Rules.DrainGrace.Duration
 	count := 0
 	for _, run := range w.ledger.Runs() {
-		if run.Endpoint == "s-2" && run.At.Sub(listed) > grace {
-			t.Errorf("the draining endpoint got a request %v after it was listed so", run.At.Sub(listed))
+		if run.Endpoint == "s-2" && run.StartedAt.Sub(listed) > grace {
+			t.Errorf("the draining endpoint got a request %v after it was listed so", run.StartedAt.Sub(listed))
 		}
-		if run.Endpoint == "s-1" && run.At.After(listed) {
+		if run.Endpoint == "s-1" && run.StartedAt.After(listed) {
 			count++
 		}
 	}
--- a/internal/daemon/versions_test.go
+++ b/internal/daemon/versions_test.go
@@ -67,12 +67,12 @@
 		c, _ = r.process.configOf(pair)
 		got <- pair.String()
 	})
-	return scriptedpeer.Within(t, got, "what runs"), c
+	return scriptedpeer.Receive(t, got, "what runs"), c
 }
 
 func eventually(t *testing.T, s *xdsserver.Server, version, say string) {
 	t.Helper()
-	for end := time.Now().Add(2 * scriptedpeer.Soon); !s.HasAnswer("", version, say); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * scriptedpeer.WaitTimeout); !s.HasAnswer("", version, say); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("version %s: %q, not %q", version, s.Answers("", version), say)
 		}
@@ -91,7 +91,7 @@
 	o := steadyClientOptions(addr, rate, time.Hour, nil)
 	o.Name = name
 	for i := range o.Classes {
-		o.Classes[i].Wait = 8 * time.Second
+		o.Classes[i].Timeout = 8 * time.Second
 	}
 	load := client.New(o)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -99,14 +99,14 @@
 	go func() { report <- load.Run(ctx) }()
 	return func() client.Report {
 		cancel()
-		return scriptedpeer.Within(t, report, "report")
+		return scriptedpeer.Receive(t, report, "report")
 	}
 }
 
 // Versions are applied in their order, refused with resource, key and reason, and gone back to by the service's
 // word, while requests go on.
 func TestVersions(t *testing.T) {
-	w := newWorld(t, 2, endpoint.Options{Work: map[string]time.Duration{"": time.Millisecond}})
+	w := newWorld(t, 2, endpoint.Options{ServiceTime: map[string]time.Duration{"": time.Millisecond}})
 	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
@@ -139,16 +139,16 @@
 		}
 	}
 	r := end()
-	if r.By[client.Served] < r.Asked-1 { // one may have been open at its end
-		t.Errorf("%d asked, %v", r.Asked, r.By)
+	if r.ByVerdict[client.Served] < r.Scheduled-1 { // one may have been open at its end
+		t.Errorf("%d asked, %v", r.Scheduled, r.ByVerdict)
 	}
-	t.Logf("%d asked, longest gap between answers %v", r.Asked, r.LongestGap)
+	t.Logf("%d asked, longest gap between answers %v", r.Scheduled, r.LongestGap)
 	checkRuns(t, w.ledger.Runs())
 }
 
 // A version that is sound and does harm is gone back from by itself, with figures, and stays refused.
 func TestHarmfulVersion(t *testing.T) {
-	w := newWorld(t, 2, endpoint.Options{Work: map[string]time.Duration{"": 5 * time.Millisecond}})
+	w := newWorld(t, 2, endpoint.Options{ServiceTime: map[string]time.Duration{"": 5 * time.Millisecond}})
 	s := w.withControlPlane(t)
 	addr := freeAddr(t)
 	d := start(t, w.config(t, w.managed(addr, "i-1")...))
@@ -172,8 +172,8 @@
 	set(t, s, "4", maxAttemptsResource(3), nil)
 	eventually(t, s, "4", "good")
 	r := end()
-	if got := float64(r.By[client.Served]) / float64(r.Asked); got < 0.6 || r.By[client.Failed] > 0 {
-		t.Errorf("%d asked, %v", r.Asked, r.By)
+	if got := float64(r.ByVerdict[client.Served]) / float64(r.Scheduled); got < 0.6 || r.ByVerdict[client.Failed] > 0 {
+		t.Errorf("%d asked, %v", r.Scheduled, r.ByVerdict)
 	}
 	checkRuns(t, w.ledger.Runs())
 }
@@ -195,7 +195,7 @@
 	stop := func(d *running) {
 		t.Helper()
 		d.stop()
-		if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+		if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 			t.Error(err)
 		}
 	}
@@ -254,7 +254,7 @@
 		t.Errorf("%s runs", runs)
 	}
 	os.RemoveAll(state + "/state")
-	for end := time.Now().Add(3 * scriptedpeer.Soon); ; time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(3 * scriptedpeer.WaitTimeout); ; time.Sleep(10 * time.Millisecond) {
 		if text, err := os.ReadFile(state + "/state"); err == nil && strings.Contains(string(text), `"good"`) {
 			break
 		}
@@ -296,24 +296,24 @@
 	scriptedpeer.Eventually(t, "the file", func() bool { runs, _ := d.runs(t); return runs == "4 over file 2" })
 	// Another process takes over: nothing that it tried is held against the version.
 	next := start(t, w.config(t, append(w.managed(addr, "i-1"), "worth = 5.0", "worth = 3.0")...))
-	if err := scriptedpeer.Within(t, d.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	eventually(t, s, "4", "good")
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
-	w.endpoints[0].Faults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.None })
+	w.endpoints[0].SetFaults(func(*http.Request) endpoint.Fault { taken <- struct{}{}; <-hold; return endpoint.NoFault })
 	open := dial(t, "tcp", addr)
 	if _, err := open.Write([]byte(request("pay", 900, ""))); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	next.stop()
 	set(t, s, "5", maxAttemptsResource(2), nil)
 	close(hold)
 	if resp, _ := open.answer(t); resp.StatusCode != 200 {
 		t.Error(resp.Status)
 	}
-	if err := scriptedpeer.Within(t, next.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, next.ended, "end"); err != nil {
 		t.Error(err)
 	}
 	if said := s.Answers("", "5"); len(said) > 0 {
@@ -333,7 +333,7 @@
 	edits := w.managed(addr, "i-1", `trial = "1s"`, `trial = "1h"`)
 	for n := range 2 {
 		p := spawn(t, "daemon", w.file(edits...))
-		scriptedpeer.Within(t, p.lines, "a daemon that serves")
+		scriptedpeer.Receive(t, p.lines, "a daemon that serves")
 		if n == 0 {
 			set(t, s, "1", maxAttemptsResource(2), nil)
 		}
@@ -344,7 +344,7 @@
 		<-p.ended
 	}
 	p := spawn(t, "daemon", w.file(edits...))
-	scriptedpeer.Within(t, p.lines, "a daemon that serves")
+	scriptedpeer.Receive(t, p.lines, "a daemon that serves")
 	eventually(t, s, "1", "refused: 2 processes ended while they tried version 1")
 	if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
 		t.Error(resp.Status)
@@ -361,7 +361,7 @@
 
 // runFleet has twenty instances serve while a control service sends versions, wave by wave, or none.
 func runFleet(t *testing.T, changes func(w *testFleet, s *xdsserver.Server, nodes []string)) fleet {
-	w := newWorld(t, 6, endpoint.Options{Work: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
+	w := newWorld(t, 6, endpoint.Options{ServiceTime: map[string]time.Duration{"": 2 * time.Millisecond}, Spread: 0.5})
 	s := w.withControlPlane(t)
 	var nodes []string
 	var all []*running
@@ -379,9 +379,9 @@
 	var f fleet
 	for _, end := range ends {
 		r := end()
-		f.asked += r.Asked
-		f.served += r.By[client.Served]
-		f.failed += r.By[client.Failed]
+		f.asked += r.Scheduled
+		f.served += r.ByVerdict[client.Served]
+		f.failed += r.ByVerdict[client.Failed]
 		f.gap = max(f.gap, r.LongestGap)
 	}
 	checkRuns(t, w.ledger.Runs())
@@ -413,7 +413,7 @@
 		bad := 0
 		said := func(version, text string, by []string) {
 			t.Helper()
-			for end := time.Now().Add(3 * scriptedpeer.Soon); ; time.Sleep(5 * time.Millisecond) {
+			for end := time.Now().Add(3 * scriptedpeer.WaitTimeout); ; time.Sleep(5 * time.Millisecond) {
 				n := 0
 				for _, node := range by {
 					if s.HasAnswer(node, version, text) {
--- a/internal/daemon/whole_test.go
+++ b/internal/daemon/whole_test.go
@@ -43,7 +43,7 @@
 	k := dial(t, "tcp", addr)
 	big := strings.Repeat("x", 100_000)
 	plan := func(body int, work time.Duration) string {
-		return webapp.PlanHeader + ": " + webapp.Plan{Body: body, Work: work}.Text() + "\r\n"
+		return webapp.PlanHeader + ": " + webapp.Plan{BodySize: body, Delay: work}.JSON() + "\r\n"
 	}
 	all := "GET /1 HTTP/1.1\r\nHost: h\r\n" + plan(1, 30*time.Millisecond) + "\r\n" +
 		"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n" + plan(2, 0) + "\r\nabc" +
@@ -93,7 +93,7 @@
 		k := dial(t, "tcp", addr)
 		method, _, _ := strings.Cut(tc.text, " ")
 		io.WriteString(k, tc.text)
-		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		resp, err := http.ReadResponse(k.r, &http.Request{Method: method})
 		if err != nil {
 			t.Errorf("%q: %v", tc.text, err)
@@ -167,7 +167,7 @@
 				k.r.Peek(1)
 				io.WriteString(k, text[cut:])
 			}
-			k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+			k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 			resp, err := http.ReadResponse(k.r, nil)
 			if err != nil {
 				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !strings.Contains(err.Error(), "reset") {
@@ -183,7 +183,7 @@
 			try(cut)
 		}
 	}
-	if n := a.Asked(); n > 0 {
+	if n := a.RequestCount(); n > 0 {
 		t.Errorf("the application got %d requests", n)
 	}
 }
@@ -191,7 +191,7 @@
 // An endpoint that answers before it has read the body: its answer arrives, and the rest of the body goes nowhere.
 func TestEarlyAnswer(t *testing.T) {
 	got := make(chan int64, 1)
-	early := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	early := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -210,11 +210,11 @@
 	if resp, body := k.answer(t); resp.StatusCode != 413 || body != "small" || resp.Header.Get("X-Mine") != "yes" || resp.Header.Get("Proxy-Status") != "" {
 		t.Errorf("%s %q %v", resp.Status, body, resp.Header)
 	}
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	if _, err := k.r.ReadByte(); err == nil || isTimeout(err) {
 		t.Errorf("the connection stays open on half a body: %v", err)
 	}
-	if n := scriptedpeer.Within(t, got, "the endpoint's end"); n > 10_000_000 {
+	if n := scriptedpeer.Receive(t, got, "the endpoint's end"); n > 10_000_000 {
 		t.Errorf("the endpoint got %d bytes more", n)
 	}
 	d.settled(t)
@@ -235,7 +235,7 @@
 			whole.Add(1)
 		}
 	})
-	b := newApp(t, a.Runs)
+	b := newApp(t, a.OnRequest)
 	d, addr := routed(t, eight+"idle = \"300ms\"\nbody_most = \"1MiB\"\n", "ADDRS", addrs(a, b))
 	for _, tc := range []struct {
 		name, head string
@@ -259,7 +259,7 @@
 				k.Conn.(*net.TCPConn).CloseWrite()
 			}
 		}()
-		k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		resp, err := http.ReadResponse(k.r, nil)
 		switch {
 		case tc.want == 0: // it is gone: what it would have been told does not matter
@@ -318,8 +318,8 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 408 || time.Since(began) > 3*time.Second {
 		t.Errorf("%s after %v", resp.Status, time.Since(began))
 	}
-	if a.Asked() != 10 {
-		t.Errorf("the application got %d requests", a.Asked())
+	if a.RequestCount() != 10 {
+		t.Errorf("the application got %d requests", a.RequestCount())
 	}
 }
 
@@ -327,9 +327,9 @@
 func TestSlowReaderHoldsTheEndpointBack(t *testing.T) {
 	var sent atomic.Int64
 	ended := make(chan struct{})
-	endpoint := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	endpoint := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		defer close(ended)
-		if _, err := scriptedpeer.Take(r); err != nil {
+		if _, err := scriptedpeer.ReadRequest(r); err != nil {
 			return
 		}
 		const gib = 1 << 30
@@ -347,7 +347,7 @@
 	k := dial(t, "tcp", addr)
 	k.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 	io.WriteString(k, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	if resp, err := http.ReadResponse(k.r, nil); err != nil || resp.ContentLength != 1<<30 {
 		t.Fatal(err)
 	}
@@ -368,7 +368,7 @@
 		t.Errorf("read on: %v", err)
 	}
 	k.Close()
-	scriptedpeer.Within(t, ended, "the end of the attempt")
+	scriptedpeer.Receive(t, ended, "the end of the attempt")
 	d.settled(t)
 }
 
@@ -376,11 +376,11 @@
 func TestOldClientsGetStreams(t *testing.T) {
 	a := newApp(t, nil)
 	d, addr := routed(t, eight, "ADDRS", addrs(a))
-	for _, plan := range []webapp.Plan{{Body: 300_000}, {Body: 300_000, Pieces: 3, Trailer: map[string]string{"X-Sum": "1"}}, {Body: 300_000, Closed: true},
-		{Body: 10, Pieces: 2, Gap: 50 * time.Millisecond}} {
+	for _, plan := range []webapp.Plan{{BodySize: 300_000}, {BodySize: 300_000, Pieces: 3, Trailer: map[string]string{"X-Sum": "1"}}, {BodySize: 300_000, CloseDelimited: true},
+		{BodySize: 10, Pieces: 2, PieceInterval: 50 * time.Millisecond}} {
 		k := dial(t, "tcp", addr)
-		resp, body := k.request(t, "GET / HTTP/1.0\r\n"+webapp.PlanHeader+": "+plan.Text()+"\r\n\r\n")
-		if resp.StatusCode != 200 || len(body) != plan.Body || len(resp.TransferEncoding) > 0 || !resp.Close {
+		resp, body := k.request(t, "GET / HTTP/1.0\r\n"+webapp.PlanHeader+": "+plan.JSON()+"\r\n\r\n")
+		if resp.StatusCode != 200 || len(body) != plan.BodySize || len(resp.TransferEncoding) > 0 || !resp.Close {
 			t.Errorf("%+v: %s, %d bytes, %v", plan, resp.Status, len(body), resp.TransferEncoding)
 		}
 	}
@@ -398,14 +398,14 @@
 		"a chunk that is none":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + big + "\r\n-1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			endpoint := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				if _, err := scriptedpeer.Take(r); err == nil {
+			endpoint := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := scriptedpeer.ReadRequest(r); err == nil {
 					io.WriteString(c, text)
 					r.Peek(1) // until it is let go, or has sent all
 				}
 			})
-			slow := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				if _, err := scriptedpeer.Take(r); err == nil {
+			slow := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := scriptedpeer.ReadRequest(r); err == nil {
 					io.WriteString(c, text)
 					time.Sleep(30 * time.Millisecond)
 					c.SetLinger(0)
@@ -415,7 +415,7 @@
 				d, addr := routed(t, eight+"idle = \"200ms\"\n", "ADDRS", `"`+at+`"`)
 				k := dial(t, "tcp", addr)
 				fmt.Fprintf(k, "GET / HTTP/%.3s\r\nHost: h\r\n\r\n", version)
-				k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+				k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 				resp, err := http.ReadResponse(k.r, nil)
 				if err != nil {
 					t.Fatal(err)
@@ -451,8 +451,8 @@
 // A route that is taken away while its requests stream: they end whole where they are, and the next go elsewhere.
 func TestRouteTakenAwayWhileItStreams(t *testing.T) {
 	more := make(chan struct{})
-	old := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := scriptedpeer.Take(r); err == nil {
+	old := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := scriptedpeer.ReadRequest(r); err == nil {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 100_000))
 			<-more
 			io.WriteString(c, strings.Repeat("y", 100_000))
@@ -464,7 +464,7 @@
 	d, addr := routed(t, text, "ONE", `"`+old+`"`, "TWO", addrs(b))
 	k := dial(t, "tcp", addr)
 	io.WriteString(k, "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n")
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(k.r, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -473,8 +473,8 @@
 	next := strings.Replace(text, "path = \"/one/*\"\npool = \"one\"", "path = \"/one/*\"\npool = \"two\"", 1)
 	next = strings.Replace(next, "[[pool]]\nname = \"one\"\nendpoints = [ONE]", "", 1)
 	d.changed(t, parse(t, next, "TWO", addrs(b)))
-	if resp, _ := dial(t, "tcp", addr).request(t, "GET /one/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 1 {
-		t.Errorf("after the change: %s, %d asked there", resp.Status, b.Asked())
+	if resp, _ := dial(t, "tcp", addr).request(t, "GET /one/2 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.RequestCount() != 1 {
+		t.Errorf("after the change: %s, %d asked there", resp.Status, b.RequestCount())
 	}
 	if counts := was.endpoints.Counts(); counts.OpenCalls != 1 {
 		t.Errorf("%d calls are open", counts.OpenCalls)
@@ -483,7 +483,7 @@
 	if got, err := io.ReadAll(resp.Body); err != nil || len(got) != 200_000 {
 		t.Errorf("what streamed: %d bytes, %v", len(got), err)
 	}
-	if resp, _ := k.request(t, "GET /one/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.Asked() != 2 {
+	if resp, _ := k.request(t, "GET /one/3 HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 || b.RequestCount() != 2 {
 		t.Errorf("the same connection afterwards: %s", resp.Status)
 	}
 	d.settled(t)
@@ -552,7 +552,7 @@
 		var bad []*webapp.App
 		for range 20 { // the breaker of each lets some through before it knows
 			bad = append(bad, newApp(t, nil))
-			bad[len(bad)-1].Fail(500)
+			bad[len(bad)-1].SetStatus(500)
 		}
 		d, addr := routed(t, twoPools, "ONE", addrs(bad...), "TWO", addrs(good), "BUDGET", budget)
 		k, beside := dial(t, "tcp", addr), dial(t, "tcp", addr)
@@ -570,7 +570,7 @@
 		}
 		d.settled(t)
 		for _, a := range bad {
-			n += a.Asked()
+			n += a.RequestCount()
 		}
 		return n
 	}
--- a/internal/differential/differential.go
+++ b/internal/differential/differential.go
@@ -72,7 +72,7 @@
 
 func (d Difference) String() string {
 	return fmt.Sprintf("exchange %d, %s: %.300s | %.300s (%s %s, body %d, chunked %v, expect %v, %s)", d.Place, d.Part, d.A, d.B,
-		d.Exchange.Method, d.Exchange.Path, d.Exchange.Body, d.Exchange.Chunked, d.Exchange.Expect, d.Exchange.Plan.Text())
+		d.Exchange.Method, d.Exchange.Path, d.Exchange.Body, d.Exchange.Chunked, d.Exchange.Expect, d.Exchange.Plan.JSON())
 }
 
 // Named are the differences that are to be, by what is seen of them.
@@ -101,7 +101,7 @@
 		}},
 	{"of an answer that breaks, how much has come before it shows is chance",
 		func(x *Exchange, part string, a, b *Outcome) bool {
-			return x.Plan.Break > 0 && (part == "body" || part == "failed" || part == "status" || part == "header") && a.Failed+b.Failed != "" || x.Plan.Break > 0 && (a.Status == 502 || b.Status == 502)
+			return x.Plan.ResetAfter > 0 && (part == "body" || part == "failed" || part == "status" || part == "header") && a.Failed+b.Failed != "" || x.Plan.ResetAfter > 0 && (a.Status == 502 || b.Status == 502)
 		}},
 }
 
@@ -113,8 +113,8 @@
 func asPlanned(x *Exchange, o *Outcome) bool {
 	var d webapp.Digest
 	if x.Method != http.MethodHead && x.Plan.Status != http.StatusNoContent && x.Plan.Status != http.StatusNotModified {
-		for _, n := range x.Plan.Parts() {
-			if err := webapp.Bytes(&d, n); err != nil {
+		for _, n := range x.Plan.PieceSizes() {
+			if err := webapp.WriteBody(&d, n); err != nil {
 				return false
 			}
 		}
@@ -144,7 +144,7 @@
 		}
 		p := &x.Plan
 		p.Status = []int{200, 200, 200, 200, 201, 204, 301, 302, 304, 400, 401, 403, 404, 409, 410, 422, 418, 451, 501}[rng.IntN(19)]
-		p.Body = []int{0, 1, 10, 1000, 5000, 70_000, 500_000}[rng.IntN(7)]
+		p.BodySize = []int{0, 1, 10, 1000, 5000, 70_000, 500_000}[rng.IntN(7)]
 		p.Header = map[string][]string{"X-Plain": {"yes"}, "Content-Type": {"text/plain"}}
 		switch rng.IntN(6) {
 		case 0:
@@ -158,7 +158,7 @@
 		if rng.IntN(3) == 0 {
 			p.Pieces = 1 + rng.IntN(5)
 			if rng.IntN(8) == 0 {
-				p.Gap = 30 * time.Millisecond
+				p.PieceInterval = 30 * time.Millisecond
 			}
 			if rng.IntN(2) == 0 {
 				p.Trailer = map[string]string{"X-Check": fmt.Sprint(i)}
@@ -166,17 +166,17 @@
 		}
 		switch rng.IntN(14) {
 		case 0:
-			p.Hints = 1 + rng.IntN(2)
+			p.EarlyHints = 1 + rng.IntN(2)
 		case 1:
 			if x.Method != "HEAD" && p.Status != 204 && p.Status != 304 {
-				p.Closed, p.Pieces, p.Trailer = true, 0, nil
+				p.CloseDelimited, p.Pieces, p.Trailer = true, 0, nil
 			}
 		case 2:
-			if x.Method != "HEAD" && p.Status == 200 && p.Body > 10 && x.Method == "POST" {
-				p.Break, p.Pieces, p.Trailer = 1+rng.IntN(p.Body-1), 0, nil
+			if x.Method != "HEAD" && p.Status == 200 && p.BodySize > 10 && x.Method == "POST" {
+				p.ResetAfter, p.Pieces, p.Trailer = 1+rng.IntN(p.BodySize-1), 0, nil
 			}
 		case 3:
-			p.Early = x.Body > 0 && x.Body <= 5000 && !x.Expect
+			p.BeforeBody = x.Body > 0 && x.Body <= 5000 && !x.Expect
 		}
 		all = append(all, x)
 	}
@@ -195,7 +195,7 @@
 	var body io.Reader
 	if x.Body >= 0 {
 		r, w := io.Pipe()
-		go func() { w.CloseWithError(webapp.Bytes(w, x.Body)) }()
+		go func() { w.CloseWithError(webapp.WriteBody(w, x.Body)) }()
 		defer r.Close()
 		body = r
 	}
@@ -206,7 +206,7 @@
 	}
 	q.Header = x.Header.Clone()
 	q.Host = "app.example"
-	q.Header.Set(webapp.PlanHeader, x.Plan.Text())
+	q.Header.Set(webapp.PlanHeader, x.Plan.JSON())
 	q.Header.Set("User-Agent", "differential")
 	if x.Expect {
 		q.Header.Set("Expect", "100-continue")
@@ -229,14 +229,14 @@
 		o.Failed = "body"
 	}
 	o.Status, o.Body, o.Trailer = resp.StatusCode, d.String(), webapp.HeaderText(resp.Trailer)
-	if text := resp.Header.Get(webapp.GotHeader); text != "" {
-		var got webapp.Got
+	if text := resp.Header.Get(webapp.ObservedRequestHeader); text != "" {
+		var got webapp.ObservedRequest
 		if err := json.Unmarshal([]byte(text), &got); err != nil {
 			o.App = err.Error()
 		} else {
 			o.App = fmt.Sprint(got.Method, " ", got.URI, " ", got.Host, " ", headerText(got.Header), " ", got.Body, " ", webapp.HeaderText(got.Trailer))
 		}
-		resp.Header.Del(webapp.GotHeader)
+		resp.Header.Del(webapp.ObservedRequestHeader)
 	}
 	o.Header = headerText(resp.Header)
 	if resp.ContentLength >= 0 && x.Method == http.MethodHead {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,13 +21,13 @@
 )
 
 // watching starts a watcher and returns its updates.
-func watching(t *testing.T, b *scripteddiscovery.Board, silenceTimeout time.Duration) <-chan engine.EndpointUpdate {
+func watching(t *testing.T, b *scripteddiscovery.Server, silenceTimeout time.Duration) <-chan engine.EndpointUpdate {
 	t.Helper()
 	updates := make(chan engine.EndpointUpdate, 16)
 	onUpdate := func(_ context.Context, update engine.EndpointUpdate) { updates <- update }
-	w := discovery.NewWatcher(b.Addr, 7, 16, onUpdate, scriptedpeer.Quiet)
+	w := discovery.NewWatcher(b.Addr, 7, 16, onUpdate, scriptedpeer.DiscardLog)
 	w.SilenceTimeout = silenceTimeout
-	w.ResponseTimeout = scriptedpeer.Soon // a busy machine is no silence
+	w.ResponseTimeout = scriptedpeer.WaitTimeout // a busy machine is no silence
 	s := discovery.NewContinuousSource(w)
 	s.SetWatching(true)
 	t.Cleanup(s.Close)
@@ -38,16 +38,16 @@
 // passed over.
 func TestWatch(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, scriptedpeer.Soon)
+	told := watching(t, b, scriptedpeer.WaitTimeout)
 	expect := func(want string) {
 		t.Helper()
-		if got := scriptedpeer.Within(t, b.After, "watch"); got != want {
+		if got := scriptedpeer.Receive(t, b.Requests, "watch"); got != want {
 			t.Errorf("watch asked with %q, want %q", got, want)
 		}
 	}
 	hear := func(want int64) {
 		t.Helper()
-		if got := scriptedpeer.Within(t, told, "list").Generation; got != want {
+		if got := scriptedpeer.Receive(t, told, "list").Generation; got != want {
 			t.Errorf("told of %d, want %d", got, want)
 		}
 	}
@@ -72,8 +72,8 @@
 func TestMuteWatch(t *testing.T) {
 	b := scripteddiscovery.New(t)
 	watching(t, b, 50*time.Millisecond)
-	scriptedpeer.Within(t, b.After, "first watch")
-	if got := scriptedpeer.Within(t, b.After, "watch after a mute one"); got != "1 7" {
+	scriptedpeer.Receive(t, b.Requests, "first watch")
+	if got := scriptedpeer.Receive(t, b.Requests, "watch after a mute one"); got != "1 7" {
 		t.Errorf("asked with %q, want %q", got, "1 7")
 	}
 }
@@ -81,8 +81,8 @@
 // A list may come indented, over many lines and in any pieces, also behind blank lines. What does not end is cut off.
 func TestIndentedLists(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, scriptedpeer.Soon)
-	scriptedpeer.Within(t, b.After, "watch")
+	told := watching(t, b, scriptedpeer.WaitTimeout)
+	scriptedpeer.Receive(t, b.Requests, "watch")
 	whole := scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, []byte(whole), "", "  "); err != nil {
@@ -93,20 +93,20 @@
 	for _, line := range strings.SplitAfter(indented.String(), "\n") {
 		b.Lines <- line
 	}
-	got := scriptedpeer.Within(t, told, "indented list")
+	got := scriptedpeer.Receive(t, told, "indented list")
 	if got.Generation != 8 || len(got.Endpoints) != 1 || got.Endpoints[0].Name != "s-1" {
 		t.Errorf("told %+v", got)
 	}
 	b.Lines <- scripteddiscovery.Line(9, false) + scripteddiscovery.Line(10, false)
 	for want := int64(9); want <= 10; want++ {
-		if got := scriptedpeer.Within(t, told, "list of two on a line"); got.Generation != want {
+		if got := scriptedpeer.Receive(t, told, "list of two on a line"); got.Generation != want {
 			t.Errorf("told of %d, want %d", got.Generation, want)
 		}
 	}
 	for range 18 { // of a program of 16 MB a list may take one
 		b.Lines <- `{"generation":11,"reset":true,"instances":[` + strings.Repeat(" ", 64<<10)
 	}
-	if got := scriptedpeer.Within(t, b.After, "watch after a list without end"); got != "1 10" {
+	if got := scriptedpeer.Receive(t, b.Requests, "watch after a list without end"); got != "1 10" {
 		t.Errorf("asked with %q, want %q", got, "1 10")
 	}
 }
@@ -116,7 +116,7 @@
 	var calls atomic.Int32
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
-	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		if i := int(calls.Add(1)) - 1; i < len(handle) {
 			handle[i](c, r)
 		}
@@ -134,12 +134,12 @@
 func TestSilentWatchesInARow(t *testing.T) {
 	list := scripteddiscovery.Line(9, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	silences := map[string]func(c *net.TCPConn, r *bufio.Reader){
-		"after its head": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r); io.WriteString(c, watchHead) },
+		"after its head": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r); io.WriteString(c, watchHead) },
 		"in a list": func(c *net.TCPConn, r *bufio.Reader) {
-			scriptedpeer.Take(r)
+			scriptedpeer.ReadRequest(r)
 			io.WriteString(c, watchHead+chunk(list[:20]))
 		},
-		"never answered": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) },
+		"never answered": func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) },
 	}
 	for name, silence := range silences {
 		for mode, source := range map[string]func(w *discovery.Watcher) *discovery.Source{
@@ -154,12 +154,12 @@
 				updates := make(chan engine.EndpointUpdate, 4)
 				silent := make(chan time.Time, 1)
 				open := func(c *net.TCPConn, r *bufio.Reader) {
-					scriptedpeer.Take(r)
+					scriptedpeer.ReadRequest(r)
 					io.WriteString(c, watchHead+chunk(scripteddiscovery.Line(8, true)))
 					silent <- time.Now()
 				}
 				good := func(c *net.TCPConn, r *bufio.Reader) {
-					scriptedpeer.Take(r)
+					scriptedpeer.ReadRequest(r)
 					io.WriteString(c, watchHead+chunk(list))
 				}
 				calls := []func(*net.TCPConn, *bufio.Reader){open, silence, good}
@@ -167,13 +167,13 @@
 					calls = []func(*net.TCPConn, *bufio.Reader){open, good}
 				}
 				onUpdate := func(_ context.Context, update engine.EndpointUpdate) { updates <- update }
-				w := discovery.NewWatcher(script(t, calls...), 7, 16, onUpdate, scriptedpeer.Quiet)
+				w := discovery.NewWatcher(script(t, calls...), 7, 16, onUpdate, scriptedpeer.DiscardLog)
 				s := source(w)
 				s.SetWatching(true)
 				t.Cleanup(s.Close)
-				scriptedpeer.Within(t, updates, "first list")
+				scriptedpeer.Receive(t, updates, "first list")
 				from := <-silent
-				if got := scriptedpeer.Within(t, updates, "list of the watch that answers"); got.Generation != 9 {
+				if got := scriptedpeer.Receive(t, updates, "list of the watch that answers"); got.Generation != 9 {
 					t.Errorf("generation %d", got.Generation)
 				}
 				if took := time.Since(from); took > 6*time.Second {
@@ -188,29 +188,29 @@
 // open watch is ignored as before, and an endpoint known to drain is not brought back by it.
 func TestGenerationsRestart(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, scriptedpeer.Soon)
+	told := watching(t, b, scriptedpeer.WaitTimeout)
 	expect := func(want string) {
 		t.Helper()
-		if got := scriptedpeer.Within(t, b.After, "call"); got != want {
+		if got := scriptedpeer.Receive(t, b.Requests, "call"); got != want {
 			t.Errorf("asked with %q, want %q", got, want)
 		}
 	}
 	expect("1 7")
 	b.Lines <- scripteddiscovery.Line(41, true)
-	scriptedpeer.Within(t, told, "list before")
+	scriptedpeer.Receive(t, told, "list before")
 	b.Lines <- scripteddiscovery.Line(3, true) // late, on the watch that has told more
 	b.Lines <- ""
 	expect("1 41")
 	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
 	expect(" ") // the whole list
 	b.Lines <- scripteddiscovery.Line(3, true, scripteddiscovery.Up("s-1", "127.0.0.1:1"))
-	got := scriptedpeer.Within(t, told, "list of the new history")
+	got := scriptedpeer.Receive(t, told, "list of the new history")
 	if got.Generation != 3 || !got.NewSource || !got.GenerationsReset || got.Kind != balancer.ListFull {
 		t.Errorf("told %+v", got)
 	}
 	expect("1 3")
 	b.Lines <- scripteddiscovery.Line(4, false)
-	if got := scriptedpeer.Within(t, told, "what follows"); got.Generation != 4 || got.NewSource {
+	if got := scriptedpeer.Receive(t, told, "what follows"); got.Generation != 4 || got.NewSource {
 		t.Errorf("told %+v", got)
 	}
 }
@@ -218,14 +218,14 @@
 // An answer that was late by itself does not begin anything: the whole list shows it.
 func TestLateFirstAnswer(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	told := watching(t, b, scriptedpeer.Soon)
-	scriptedpeer.Within(t, b.After, "watch")
+	told := watching(t, b, scriptedpeer.WaitTimeout)
+	scriptedpeer.Receive(t, b.Requests, "watch")
 	b.Lines <- scripteddiscovery.Line(5, true) // asked for what is newer than 7
-	if got := scriptedpeer.Within(t, b.After, "call"); got != " " {
+	if got := scriptedpeer.Receive(t, b.Requests, "call"); got != " " {
 		t.Errorf("asked with %q, want the whole list", got)
 	}
 	b.Lines <- scripteddiscovery.Line(8, true)
-	if got := scriptedpeer.Within(t, told, "list"); got.Generation != 8 || got.NewSource {
+	if got := scriptedpeer.Receive(t, told, "list"); got.Generation != 8 || got.NewSource {
 		t.Errorf("told %+v", got)
 	}
 }
--- a/internal/endpointsource/endpointsource_test.go
+++ b/internal/endpointsource/endpointsource_test.go
@@ -29,7 +29,7 @@
 func TestFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "pool.json")
 	told := make(chan engine.EndpointUpdate, 1)
-	f := WatchFile(path, time.Millisecond, func(_ context.Context, t engine.EndpointUpdate) { told <- t }, scriptedpeer.Quiet)
+	f := WatchFile(path, time.Millisecond, func(_ context.Context, t engine.EndpointUpdate) { told <- t }, scriptedpeer.DiscardLog)
 	defer f.Close()
 	write := func(text string) {
 		t.Helper()
@@ -67,7 +67,7 @@
 			}
 		}
 		write(tc.text)
-		got := scriptedpeer.Within(t, told, "a list")
+		got := scriptedpeer.Receive(t, told, "a list")
 		if fmt.Sprint(names(got)) != fmt.Sprint(tc.want) || got.Generation <= last {
 			t.Errorf("%v of generation %d, want %v after %d", names(got), got.Generation, tc.want, last)
 		}
--- a/internal/experiment/faults_test.go
+++ b/internal/experiment/faults_test.go
@@ -22,7 +22,7 @@
 	defer cancel()
 	c, err := config.Read(file)
 	if err == nil {
-		err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.Quiet})
+		err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.DiscardLog})
 	}
 	if err != nil {
 		os.Exit(1)
--- a/internal/experiment/processes/events.go
+++ b/internal/experiment/processes/events.go
@@ -137,7 +137,7 @@
 			each := func(on bool) func() {
 				return func() {
 					for _, in := range r.instances {
-						in.discovery.Silence(on)
+						in.discovery.SetSilent(on)
 					}
 				}
 			}
@@ -204,7 +204,7 @@
 			deafen := func(on bool) func() {
 				return func() {
 					for _, n := range h.Instances {
-						r.instances[n].discovery.Silence(on)
+						r.instances[n].discovery.SetSilent(on)
 					}
 				}
 			}
--- a/internal/experiment/processes/run_test.go
+++ b/internal/experiment/processes/run_test.go
@@ -27,7 +27,7 @@
 		defer cancel()
 		c, err := config.Read(os.Args[2])
 		if err == nil {
-			err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.Quiet})
+			err = daemon.Run(ctx, daemon.Options{Config: c, Log: scriptedpeer.DiscardLog})
 		}
 		if err != nil {
 			os.Exit(1)
@@ -155,7 +155,7 @@
 	o := options(t, world)
 	o.Daemon = "/bin/false"
 	began := time.Now()
-	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > scriptedpeer.Soon {
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > scriptedpeer.WaitTimeout {
 		t.Errorf("after %v: %v", time.Since(began), err)
 	}
 	o = options(t, world+"[[event]]\nwhat = \"restart\"\nat = \"1s\"\nfor = \"500ms\"\n")
--- a/internal/fake/discoveryserver/roster.go
+++ b/internal/fake/discoveryserver/roster.go
@@ -25,12 +25,12 @@
 	http *http.Server
 	done chan struct{}
 
-	mu      sync.Mutex
-	entries map[string]discovery.Instance
-	changed map[string]int64 // the generation in which each last changed, those removed too
-	gen     int64
-	news    chan struct{} // closed at each change
-	silent  bool
+	mu         sync.Mutex
+	entries    map[string]discovery.Instance
+	changedIn  map[string]int64 // the generation in which each last changed, those removed too
+	generation int64
+	changes    chan struct{} // closed at each change
+	silent     bool
 }
 
 // Start starts a roster of these entries on a free port of loopback.
@@ -39,11 +39,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Addr: ln.Addr().String(), entries: map[string]discovery.Instance{}, changed: map[string]int64{},
-		news: make(chan struct{}), done: make(chan struct{})}
+	s := &Server{Addr: ln.Addr().String(), entries: map[string]discovery.Instance{}, changedIn: map[string]int64{},
+		changes: make(chan struct{}), done: make(chan struct{})}
 	s.Set(entries...)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /api/targets", s.targets)
+	mux.HandleFunc("GET /api/targets", s.serveTargets)
 	s.http = &http.Server{Handler: mux}
 	go func() {
 		defer close(s.done)
@@ -62,31 +62,31 @@
 func (s *Server) Set(entries ...discovery.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gen++
+	s.generation++
 	for _, e := range entries {
 		s.entries[e.ID] = e
-		s.changed[e.ID] = s.gen
+		s.changedIn[e.ID] = s.generation
 	}
-	close(s.news)
-	s.news = make(chan struct{})
+	close(s.changes)
+	s.changes = make(chan struct{})
 }
 
 // Silence has the roster say nothing more on its watches, and answer no call, or ends that.
-func (s *Server) Silence(on bool) {
+func (s *Server) SetSilent(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = on
-	close(s.news)
-	s.news = make(chan struct{})
+	close(s.changes)
+	s.changes = make(chan struct{})
 }
 
 // since returns what has changed after a generation, or all for a negative one, and the channel that tells of more.
-func (s *Server) since(after int64) (l discovery.List, silent bool, news <-chan struct{}) {
+func (s *Server) changesSince(after int64) (l discovery.List, silent bool, news <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l = discovery.List{Generation: s.gen, Reset: after < 0, Instances: []discovery.Instance{}}
+	l = discovery.List{Generation: s.generation, Reset: after < 0, Instances: []discovery.Instance{}}
 	for id, e := range s.entries {
-		if after < 0 && e.Lifecycle != "removed" || after >= 0 && s.changed[id] > after {
+		if after < 0 && e.Lifecycle != "removed" || after >= 0 && s.changedIn[id] > after {
 			l.Instances = append(l.Instances, e)
 		}
 	}
@@ -96,10 +96,10 @@
 		}
 		return 1
 	})
-	return l, s.silent, s.news
+	return l, s.silent, s.changes
 }
 
-func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveTargets(w http.ResponseWriter, r *http.Request) {
 	after := int64(-1)
 	if text := r.FormValue("after"); text != "" {
 		v, err := strconv.ParseInt(text, 10, 64)
@@ -113,7 +113,7 @@
 	controller := http.NewResponseController(w)
 	first := true
 	for {
-		l, silent, news := s.since(after)
+		l, silent, news := s.changesSince(after)
 		if !silent && (first || len(l.Instances) > 0) {
 			text, err := json.Marshal(l)
 			if err != nil {
--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -21,36 +21,36 @@
 
 	// Work is how long a core is busy with a request of a class, the first part of the path; the entry "" is
 	// for classes that have none. Each request's is drawn from Work*(1±Spread).
-	Work   map[string]time.Duration
-	Spread float64
-	Cores  int // requests worked at side by side; 0 is no bound
-	Queue  int // requests that wait for a core; beyond it 503 with X-Never-Ran; 0 is no bound
+	ServiceTime map[string]time.Duration
+	Spread      float64
+	Cores       int // requests worked at side by side; 0 is no bound
+	QueueLimit  int // requests that wait for a core; beyond it 503 with X-Never-Ran; 0 is no bound
 
 	// ColdFrom is the share of its speed that a started endpoint has at first; it is warm after Warm.
-	ColdFrom float64
-	Warm     time.Duration
+	WarmupStartSpeed float64
+	WarmupTime       time.Duration
 
 	// Keyed is how long the endpoint remembers an Idempotency-Key and drops its repeats.
-	Keyed  time.Duration
-	Ledger *Ledger // where what ran is written down; nil is nowhere
-	Body   int     // bytes of an answer, at least
+	IdempotencyWindow time.Duration
+	Ledger            *Ledger // where what ran is written down; nil is nowhere
+	MinResponseSize   int     // bytes of an answer, at least
 }
 
 // Run is one request that reached an endpoint.
 type Run struct {
-	Endpoint string
-	Class    string
-	ID       string // X-Trace-Id
-	Key      string // Idempotency-Key
-	At       time.Time
-	Effect   bool // it took effect: it was no repeat that the endpoint knew
+	Endpoint       string
+	Class          string
+	TraceID        string // X-Trace-Id
+	IdempotencyKey string // Idempotency-Key
+	StartedAt      time.Time
+	TookEffect     bool // it took effect: it was no repeat that the endpoint knew
 }
 
 // Ledger records what ran at endpoints that share it: a group that drops repeats of a key.
 type Ledger struct {
-	mu    sync.Mutex
-	runs  []Run
-	known map[string]time.Time // keys, by when they last took effect
+	mu          sync.Mutex
+	runs        []Run
+	lastEffects map[string]time.Time // keys, by when they last took effect
 }
 
 // Runs returns what has run so far, in the order it began.
@@ -63,14 +63,14 @@
 func (l *Ledger) add(r Run, window time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Key != "" && window > 0 {
-		if l.known == nil {
-			l.known = map[string]time.Time{}
+	if r.IdempotencyKey != "" && window > 0 {
+		if l.lastEffects == nil {
+			l.lastEffects = map[string]time.Time{}
 		}
-		if at, ok := l.known[r.Key]; ok && r.At.Sub(at) < window {
-			r.Effect = false
+		if at, ok := l.lastEffects[r.IdempotencyKey]; ok && r.StartedAt.Sub(at) < window {
+			r.TookEffect = false
 		} else {
-			l.known[r.Key] = r.At
+			l.lastEffects[r.IdempotencyKey] = r.StartedAt
 		}
 	}
 	l.runs = append(l.runs, r)
@@ -80,7 +80,7 @@
 type Server struct {
 	Addr string
 
-	o       Options
+	options Options
 	cores   chan struct{}
 	started time.Time
 	http    *http.Server
@@ -100,27 +100,27 @@
 
 // The faults.
 const (
-	None     Fault = iota
-	Fail           // 500
-	Silent         // no answer, until the client leaves
-	Break          // the connection is reset, after the request was taken
-	Conflict       // 409: it ran, and what it asked for cannot be
+	NoFault         Fault = iota
+	InternalError         // 500
+	NoResponse            // no answer, until the client leaves
+	ConnectionReset       // the connection is reset, after the request was taken
+	Conflict              // 409: it ran, and what it asked for cannot be
 )
 
 // Start starts an endpoint on a free port of loopback.
-func Start(o Options) (*Server, error) {
+func Start(options Options) (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	return Serve(ln, o), nil
+	return Serve(ln, options), nil
 }
 
 // Serve starts an endpoint on a listener.
-func Serve(ln net.Listener, o Options) *Server {
-	s := &Server{Addr: ln.Addr().String(), o: o, started: time.Now(), done: make(chan struct{})}
-	if o.Cores > 0 {
-		s.cores = make(chan struct{}, o.Cores)
+func Serve(ln net.Listener, options Options) *Server {
+	s := &Server{Addr: ln.Addr().String(), options: options, started: time.Now(), done: make(chan struct{})}
+	if options.Cores > 0 {
+		s.cores = make(chan struct{}, options.Cores)
 	}
 	s.http = &http.Server{Handler: s}
 	go func() {
@@ -137,14 +137,14 @@
 }
 
 // Drain says whether the endpoint is draining: it finishes what it has and turns new requests away.
-func (s *Server) Drain(on bool) {
+func (s *Server) SetDraining(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = on
 }
 
 // Faults sets what goes wrong from now on; nil is nothing.
-func (s *Server) Faults(f func(*http.Request) Fault) {
+func (s *Server) SetFaults(f func(*http.Request) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = f
@@ -176,32 +176,32 @@
 		return // it has not come whole, so it has not run
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	run := Run{Endpoint: s.o.Name, Class: class, ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key"),
-		At: time.Now(), Effect: true}
-	fault, turnedAway := s.enter(r)
+	run := Run{Endpoint: s.options.Name, Class: class, TraceID: r.Header.Get("X-Trace-Id"), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		StartedAt: time.Now(), TookEffect: true}
+	fault, turnedAway := s.admit(r)
 	if turnedAway {
 		w.Header().Set("X-Never-Ran", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if s.o.Ledger != nil {
-		s.o.Ledger.add(run, s.o.Keyed)
+	if s.options.Ledger != nil {
+		s.options.Ledger.add(run, s.options.IdempotencyWindow)
 	}
-	ran := s.work(r.Context(), class)
-	s.leave()
+	ran := s.runOnCore(r.Context(), class)
+	s.finish()
 	switch {
-	case !ran || fault == Break:
+	case !ran || fault == ConnectionReset:
 		panic(http.ErrAbortHandler)
-	case fault == Silent:
+	case fault == NoResponse:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
-	case fault == Fail:
+	case fault == InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	// The answer tells whose it is, so that a client can see that it got its own.
-	answer := run.ID + " " + s.o.Name + " " + fmt.Sprint(len(body)) + "\n"
-	if more := s.o.Body - len(answer); more > 0 {
+	answer := run.TraceID + " " + s.options.Name + " " + fmt.Sprint(len(body)) + "\n"
+	if more := s.options.MinResponseSize - len(answer); more > 0 {
 		answer += strings.Repeat(".", more)
 	}
 	w.Header().Set("Content-Type", "text/plain")
@@ -211,11 +211,11 @@
 	_, _ = io.WriteString(w, answer) // a client that has gone needs none
 }
 
-func (s *Server) enter(r *http.Request) (fault Fault, turnedAway bool) {
+func (s *Server) admit(r *http.Request) (fault Fault, turnedAway bool) {
 	s.mu.Lock()
-	if s.draining || s.o.Queue > 0 && s.waiting >= s.o.Queue {
+	if s.draining || s.options.QueueLimit > 0 && s.waiting >= s.options.QueueLimit {
 		s.mu.Unlock()
-		return None, true
+		return NoFault, true
 	}
 	s.waiting++
 	f := s.fault
@@ -227,7 +227,7 @@
 }
 
 // work waits for a core and holds it, and says whether the client stayed to the end.
-func (s *Server) work(ctx context.Context, class string) bool {
+func (s *Server) runOnCore(ctx context.Context, class string) bool {
 	if s.cores != nil {
 		select {
 		case s.cores <- struct{}{}:
@@ -242,14 +242,14 @@
 	s.mu.Lock()
 	s.waiting, s.working = s.waiting-1, s.working+1
 	s.mu.Unlock()
-	d, ok := s.o.Work[class]
+	d, ok := s.options.ServiceTime[class]
 	if !ok {
-		d = s.o.Work[""]
+		d = s.options.ServiceTime[""]
 	}
 	if d <= 0 {
 		return true
 	}
-	d = time.Duration(float64(d) * (1 + s.o.Spread*(2*rand.Float64()-1)) / s.speed())
+	d = time.Duration(float64(d) * (1 + s.options.Spread*(2*rand.Float64()-1)) / s.speed())
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -263,13 +263,13 @@
 // speed is the share of its full speed that the endpoint has by now.
 func (s *Server) speed() float64 {
 	age := time.Since(s.started)
-	if s.o.Warm <= 0 || s.o.ColdFrom <= 0 || age >= s.o.Warm {
+	if s.options.WarmupTime <= 0 || s.options.WarmupStartSpeed <= 0 || age >= s.options.WarmupTime {
 		return 1
 	}
-	return s.o.ColdFrom + (1-s.o.ColdFrom)*age.Seconds()/s.o.Warm.Seconds()
+	return s.options.WarmupStartSpeed + (1-s.options.WarmupStartSpeed)*age.Seconds()/s.options.WarmupTime.Seconds()
 }
 
-func (s *Server) leave() {
+func (s *Server) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.working--
@@ -277,14 +277,14 @@
 }
 
 // Probed returns how many probes were answered.
-func (s *Server) Probed() int {
+func (s *Server) ProbeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.probed
 }
 
 // Served returns how many requests have been worked at to an end.
-func (s *Server) Served() int {
+func (s *Server) ServedCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.served
--- a/internal/fake/freeport/port.go
+++ b/internal/fake/freeport/port.go
@@ -15,26 +15,26 @@
 // The range is below what Linux gives to outgoing connections where nobody has changed that (ip_local_port_range, ip(7):
 // from 32768 on), and above what is commonly served.
 const (
-	first = 12_000
-	last  = 32_000
-	tries = 1000
+	firstPort   = 12_000
+	lastPort    = 32_000
+	maxAttempts = 1000
 )
 
-var given struct {
+var reserved struct {
 	sync.Mutex
 	all map[int]bool
 }
 
 // Free returns an address, 127.0.0.1 with a port, on which nothing listens; a process is not given one twice.
 func Free() (string, error) {
-	given.Lock()
-	defer given.Unlock()
-	if given.all == nil {
-		given.all = map[int]bool{}
+	reserved.Lock()
+	defer reserved.Unlock()
+	if reserved.all == nil {
+		reserved.all = map[int]bool{}
 	}
-	for range tries {
-		n := first + rand.IntN(last-first)
-		if given.all[n] {
+	for range maxAttempts {
+		n := firstPort + rand.IntN(lastPort-firstPort)
+		if reserved.all[n] {
 			continue
 		}
 		addr := fmt.Sprint("127.0.0.1:", n)
@@ -45,7 +45,7 @@
 		if err != nil {
 			return "", err
 		}
-		given.all[n] = true
+		reserved.all[n] = true
 		return addr, ln.Close()
 	}
 	return "", errors.New("no port is free")
--- a/internal/fake/scripteddiscovery/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -14,28 +14,28 @@
 )
 
 // Board is a discovery whose watches are written by hand.
-type Board struct {
-	Addr  string
-	After chan string // what each call asked for: its values of watch and after
-	Lines chan string // to write to the call that came last; an empty text ends it
+type Server struct {
+	Addr     string
+	Requests chan string // what each call asked for: its values of watch and after
+	Lines    chan string // to write to the call that came last; an empty text ends it
 
-	mu   sync.Mutex
-	last *call
+	mu      sync.Mutex
+	current *call
 }
 
 // call is one that the board answers.
 type call struct {
-	left  context.CancelFunc
-	ended chan struct{}
+	cancel context.CancelFunc
+	ended  chan struct{}
 }
 
 // New starts a board.
-func New(t testing.TB) *Board {
-	b := &Board{After: make(chan string, 16), Lines: make(chan string)}
-	b.Addr = scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+func New(t testing.TB) *Server {
+	b := &Server{Requests: make(chan string, 16), Lines: make(chan string)}
+	b.Addr = scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(r.Context())
-		defer b.take(cancel)()
-		b.After <- r.FormValue("watch") + " " + r.FormValue("after")
+		defer b.replaceCall(cancel)()
+		b.Requests <- r.FormValue("watch") + " " + r.FormValue("after")
 		http.NewResponseController(w).Flush()
 		for {
 			select {
@@ -55,15 +55,15 @@
 
 // take has a call be the last one: the call before it is over when this returns, so that no line for this one goes to a caller who has
 // left. It returns what ends the call.
-func (b *Board) take(left context.CancelFunc) (end func()) {
+func (b *Server) replaceCall(left context.CancelFunc) (end func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.last != nil {
-		b.last.left()
-		<-b.last.ended
+	if b.current != nil {
+		b.current.cancel()
+		<-b.current.ended
 	}
-	now := &call{left: left, ended: make(chan struct{})}
-	b.last = now
+	now := &call{cancel: left, ended: make(chan struct{})}
+	b.current = now
 	return func() { left(); close(now.ended) }
 }
 
--- a/internal/fake/scriptedpeer/peer.go
+++ b/internal/fake/scriptedpeer/peer.go
@@ -16,13 +16,13 @@
 )
 
 // Soon bounds every wait for something that must come.
-const Soon = 20 * time.Second
+const WaitTimeout = 20 * time.Second
 
 // Quiet is a log that nobody reads.
-var Quiet = slog.New(slog.DiscardHandler)
+var DiscardLog = slog.New(slog.DiscardHandler)
 
 // Nowhere returns an address that refuses connections.
-func Nowhere(t testing.TB) string {
+func ClosedAddress(t testing.TB) string {
 	t.Helper()
 	addr, err := freeport.Free()
 	if err != nil {
@@ -32,7 +32,7 @@
 }
 
 // Web starts a server that speaks plain HTTP, and returns its address.
-func Web(t testing.TB, h http.HandlerFunc) string {
+func StartHTTP(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -40,7 +40,7 @@
 }
 
 // Raw starts a server whose connections are handled by hand, and closed when the handler returns.
-func Raw(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
+func StartTCP(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +63,7 @@
 }
 
 // Take reads a whole request.
-func Take(r *bufio.Reader) (*http.Request, error) {
+func ReadRequest(r *bufio.Reader) (*http.Request, error) {
 	req, err := http.ReadRequest(r)
 	if err == nil {
 		_, err = io.Copy(io.Discard, req.Body)
@@ -72,12 +72,12 @@
 }
 
 // Within returns what comes on a channel, and fails the test if nothing does.
-func Within[T any](t testing.TB, ch <-chan T, what string) T {
+func Receive[T any](t testing.TB, ch <-chan T, what string) T {
 	t.Helper()
 	select {
 	case v := <-ch:
 		return v
-	case <-time.After(Soon):
+	case <-time.After(WaitTimeout):
 		t.Fatalf("%s: nothing came", what)
 		panic("unreachable")
 	}
@@ -86,9 +86,9 @@
 // Eventually waits until something is so, and fails the test if it never is.
 func Eventually(t testing.TB, what string, is func() bool) {
 	t.Helper()
-	for end := time.Now().Add(Soon); !is(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(WaitTimeout); !is(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%s: not within %v", what, Soon)
+			t.Fatalf("%s: not within %v", what, WaitTimeout)
 		}
 	}
 }
--- a/internal/fake/webapp/app.go
+++ b/internal/fake/webapp/app.go
@@ -24,21 +24,21 @@
 
 // Plan says how a request is to be answered. The zero Plan is 200 without a body.
 type Plan struct {
-	Status  int                 `json:"status,omitempty"`
-	Header  map[string][]string `json:"header,omitempty"`
-	Body    int                 `json:"body,omitempty"`    // bytes
-	Pieces  int                 `json:"pieces,omitempty"`  // written one after another, with flushes: then in chunks
-	Gap     time.Duration       `json:"gap,omitempty"`     // between pieces
-	Closed  bool                `json:"closed,omitempty"`  // ended by the connection's end
-	Trailer map[string]string   `json:"trailer,omitempty"` // behind a body in chunks
-	Hints   int                 `json:"hints,omitempty"`   // answers 103 ahead
-	Early   bool                `json:"early,omitempty"`   // answered before the request's body is read
-	Break   int                 `json:"break,omitempty"`   // the connection is reset after so many bytes of the body
-	Work    time.Duration       `json:"work,omitempty"`    // before the answer
+	Status         int                 `json:"status,omitempty"`
+	Header         map[string][]string `json:"header,omitempty"`
+	BodySize       int                 `json:"body,omitempty"`    // bytes
+	Pieces         int                 `json:"pieces,omitempty"`  // written one after another, with flushes: then in chunks
+	PieceInterval  time.Duration       `json:"gap,omitempty"`     // between pieces
+	CloseDelimited bool                `json:"closed,omitempty"`  // ended by the connection's end
+	Trailer        map[string]string   `json:"trailer,omitempty"` // behind a body in chunks
+	EarlyHints     int                 `json:"hints,omitempty"`   // answers 103 ahead
+	BeforeBody     bool                `json:"early,omitempty"`   // answered before the request's body is read
+	ResetAfter     int                 `json:"break,omitempty"`   // the connection is reset after so many bytes of the body
+	Delay          time.Duration       `json:"work,omitempty"`    // before the answer
 }
 
 // Text returns the plan as its header has it.
-func (p Plan) Text() string {
+func (p Plan) JSON() string {
 	text, err := json.Marshal(p)
 	if err != nil {
 		panic(err) // of figures and texts only
@@ -47,18 +47,18 @@
 }
 
 // Parts returns the lengths of the pieces in which the body is written. Each piece begins the pattern of Bytes anew.
-func (p Plan) Parts() []int {
+func (p Plan) PieceSizes() []int {
 	parts := make([]int, max(1, p.Pieces))
 	for i := range parts {
-		parts[i] = p.Body / len(parts)
+		parts[i] = p.BodySize / len(parts)
 	}
-	parts[0] += p.Body % len(parts)
+	parts[0] += p.BodySize % len(parts)
 	return parts
 }
 
 // Got is what the application saw of a request. It tells so in the answer's header GotHeader, but for the body of a
 // request that was answered early.
-type Got struct {
+type ObservedRequest struct {
 	Method, URI, Host string
 	Header            http.Header
 	Body              string // its length and digest
@@ -67,27 +67,27 @@
 }
 
 // GotHeader is the answer's header that holds a Got as JSON.
-const GotHeader = "X-Got"
+const ObservedRequestHeader = "X-Got"
 
 // App is a running application.
 type App struct {
-	Addr string
-	Runs func(id string, whole bool) // told of each request that began, by its X-Id, and whether its body was whole; may be nil
+	Addr      string
+	OnRequest func(id string, whole bool) // told of each request that began, by its X-Id, and whether its body was whole; may be nil
 
-	http    *http.Server
-	ended   sync.WaitGroup
-	asked   atomic.Int64
-	failing atomic.Int32 // a status that all requests get; 0 is as they ask
-	fault   atomic.Pointer[func(r *http.Request) bool]
+	http         *http.Server
+	ended        sync.WaitGroup
+	requestCount atomic.Int64
+	forcedStatus atomic.Int32 // a status that all requests get; 0 is as they ask
+	fault        atomic.Pointer[func(r *http.Request) bool]
 }
 
 // Start starts an application on a free port of loopback. runs is told of each request; nil is nobody.
-func Start(runs func(id string, whole bool)) (*App, error) {
+func Start(onRequest func(id string, whole bool)) (*App, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &App{Addr: ln.Addr().String(), Runs: runs}
+	a := &App{Addr: ln.Addr().String(), OnRequest: onRequest}
 	a.http = &http.Server{Handler: a, ErrorLog: log.New(io.Discard, "", 0)}
 	a.ended.Go(func() { a.http.Serve(ln) })
 	return a, nil
@@ -100,16 +100,16 @@
 }
 
 // Fail answers everything with a status from now on; 0 ends that.
-func (a *App) Fail(status int) { a.failing.Store(int32(status)) }
+func (a *App) SetStatus(status int) { a.forcedStatus.Store(int32(status)) }
 
 // Fault has the connection reset, once a request has run, wherever f says so.
-func (a *App) Fault(f func(r *http.Request) bool) { a.fault.Store(&f) }
+func (a *App) SetFault(f func(r *http.Request) bool) { a.fault.Store(&f) }
 
 // Asked returns how many requests have come.
-func (a *App) Asked() int64 { return a.asked.Load() }
+func (a *App) RequestCount() int64 { return a.requestCount.Load() }
 
 // Bytes writes n bytes of a body that is the same each time.
-func Bytes(w io.Writer, n int) error {
+func WriteBody(w io.Writer, n int) error {
 	for n > 0 {
 		p := pattern[:min(n, len(pattern))]
 		if _, err := w.Write(p); err != nil {
@@ -131,27 +131,27 @@
 
 // Digest tells a body's length and digest as it is read.
 type Digest struct {
-	n int64
-	h hash.Hash
+	length int64
+	hash   hash.Hash
 }
 
 func (d *Digest) Write(p []byte) (int, error) {
-	if d.h == nil {
-		d.h = sha256.New()
+	if d.hash == nil {
+		d.hash = sha256.New()
 	}
-	d.n += int64(len(p))
-	return d.h.Write(p)
+	d.length += int64(len(p))
+	return d.hash.Write(p)
 }
 
 func (d *Digest) String() string {
-	if d.n == 0 {
+	if d.length == 0 {
 		return "0"
 	}
-	return fmt.Sprint(d.n, " ", hex.EncodeToString(d.h.Sum(nil)[:8]))
+	return fmt.Sprint(d.length, " ", hex.EncodeToString(d.hash.Sum(nil)[:8]))
 }
 
 func (a *App) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	a.asked.Add(1)
+	a.requestCount.Add(1)
 	var p Plan
 	if text := r.Header.Get(PlanHeader); text != "" {
 		if err := json.Unmarshal([]byte(text), &p); err != nil {
@@ -159,25 +159,25 @@
 			return
 		}
 	}
-	if status := int(a.failing.Load()); status != 0 {
+	if status := int(a.forcedStatus.Load()); status != 0 {
 		p.Status = status
 	}
 	id := r.Header.Get("X-Id")
-	if !p.Early {
-		if !a.read(w, r, id) {
+	if !p.BeforeBody {
+		if !a.readBody(w, r, id) {
 			return
 		}
-	} else if a.Runs != nil {
-		a.Runs(id, false)
+	} else if a.OnRequest != nil {
+		a.OnRequest(id, false)
 	}
 	if f := a.fault.Load(); f != nil && (*f)(r) {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(p.Work)
+	time.Sleep(p.Delay)
 	for name, values := range p.Header {
 		w.Header()[http.CanonicalHeaderKey(name)] = values
 	}
-	for range p.Hints {
+	for range p.EarlyHints {
 		w.Header().Set("Link", "</style.css>; rel=preload")
 		w.WriteHeader(http.StatusEarlyHints)
 		w.Header().Del("Link")
@@ -185,32 +185,32 @@
 	if p.Status == 0 {
 		p.Status = http.StatusOK
 	}
-	if p.Closed || p.Break > 0 {
-		a.byHand(w, p)
+	if p.CloseDelimited || p.ResetAfter > 0 {
+		a.writeRaw(w, p)
 		return
 	}
 	for name := range p.Trailer {
 		w.Header().Add("Trailer", name)
 	}
 	rc := http.NewResponseController(w)
-	if p.Early {
+	if p.BeforeBody {
 		if err := rc.EnableFullDuplex(); err != nil {
 			panic(err) // HTTP/1.1 of net/http has it
 		}
 	}
 	if p.Pieces == 0 && len(p.Trailer) == 0 && p.Status != http.StatusNoContent && p.Status != http.StatusNotModified {
-		w.Header().Set("Content-Length", fmt.Sprint(p.Body))
+		w.Header().Set("Content-Length", fmt.Sprint(p.BodySize))
 	}
 	w.WriteHeader(p.Status)
 	if r.Method != http.MethodHead && p.Status != http.StatusNoContent && p.Status != http.StatusNotModified {
-		for i, n := range p.Parts() {
-			if Bytes(w, n) != nil {
+		for i, n := range p.PieceSizes() {
+			if WriteBody(w, n) != nil {
 				return
 			}
 			if p.Pieces > 0 {
 				rc.Flush()
 				if i < p.Pieces-1 {
-					time.Sleep(p.Gap)
+					time.Sleep(p.PieceInterval)
 				}
 			}
 		}
@@ -218,35 +218,35 @@
 	for name, v := range p.Trailer {
 		w.Header().Set(name, v)
 	}
-	if p.Early {
+	if p.BeforeBody {
 		rc.Flush()
 		_, _ = io.Copy(io.Discard, r.Body) // the answer is out whatever becomes of the rest
 	}
 }
 
 // read reads the request's body and tells what came; it says whether that was whole.
-func (a *App) read(w http.ResponseWriter, r *http.Request, id string) bool {
+func (a *App) readBody(w http.ResponseWriter, r *http.Request, id string) bool {
 	var d Digest
 	if _, err := io.Copy(&d, r.Body); err != nil {
-		if a.Runs != nil {
-			a.Runs(id, false)
+		if a.OnRequest != nil {
+			a.OnRequest(id, false)
 		}
 		return false
 	}
-	if a.Runs != nil {
-		a.Runs(id, true)
+	if a.OnRequest != nil {
+		a.OnRequest(id, true)
 	}
-	got := Got{r.Method, r.RequestURI, r.Host, r.Header.Clone(), d.String(), r.Trailer, len(r.TransferEncoding) > 0}
+	got := ObservedRequest{r.Method, r.RequestURI, r.Host, r.Header.Clone(), d.String(), r.Trailer, len(r.TransferEncoding) > 0}
 	text, err := json.Marshal(got)
 	if err != nil {
 		panic(err) // of texts only
 	}
-	w.Header().Set(GotHeader, string(text))
+	w.Header().Set(ObservedRequestHeader, string(text))
 	return true
 }
 
 // byHand answers on the bare connection.
-func (a *App) byHand(w http.ResponseWriter, p Plan) {
+func (a *App) writeRaw(w http.ResponseWriter, p Plan) {
 	h := w.Header().Clone()
 	c, rw, err := w.(http.Hijacker).Hijack()
 	if err != nil {
@@ -254,15 +254,15 @@
 	}
 	defer c.Close()
 	fmt.Fprintf(rw, "HTTP/1.1 %d %s\r\n", p.Status, http.StatusText(p.Status))
-	if p.Break > 0 {
-		fmt.Fprintf(rw, "Content-Length: %d\r\n", p.Body)
+	if p.ResetAfter > 0 {
+		fmt.Fprintf(rw, "Content-Length: %d\r\n", p.BodySize)
 	} else {
 		h.Set("Connection", "close")
 	}
 	_ = h.Write(rw) // errors of a buffered connection come with Flush, and end the answer as planned or earlier
 	_, _ = rw.WriteString("\r\n")
-	if p.Break > 0 {
-		_ = Bytes(rw, min(p.Break, p.Body))
+	if p.ResetAfter > 0 {
+		_ = WriteBody(rw, min(p.ResetAfter, p.BodySize))
 		_ = rw.Flush()
 		if tcp, ok := c.(*net.TCPConn); ok {
 			time.Sleep(20 * time.Millisecond) // a reset takes back what has not been read
@@ -270,8 +270,8 @@
 		}
 		return
 	}
-	for _, n := range p.Parts() {
-		_ = Bytes(rw, n)
+	for _, n := range p.PieceSizes() {
+		_ = WriteBody(rw, n)
 		_ = rw.Flush()
 	}
 }
--- a/internal/frontend/http1/conns_test.go
+++ b/internal/frontend/http1/conns_test.go
@@ -29,7 +29,7 @@
 			}
 			said <- b[0]
 		}
-	}, scriptedpeer.Quiet)
+	}, scriptedpeer.DiscardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +50,7 @@
 		if _, err := client.Write([]byte{round}); err != nil {
 			t.Fatal(err)
 		}
-		if got := scriptedpeer.Within(t, said, "a byte"); got != round {
+		if got := scriptedpeer.Receive(t, said, "a byte"); got != round {
 			t.Fatalf("%q, want %q", got, round)
 		}
 		scriptedpeer.Eventually(t, "the connection at rest", func() bool {
@@ -70,7 +70,7 @@
 		k.mu.Unlock()
 	}
 	io.WriteString(client, "z")
-	if got := scriptedpeer.Within(t, said, "a byte"); got != 'z' {
+	if got := scriptedpeer.Receive(t, said, "a byte"); got != 'z' {
 		t.Fatal("closed")
 	}
 }
@@ -103,7 +103,7 @@
 					_, _ = c.input.Read(make([]byte, 1)) // until the client has gone
 				}
 				<-over
-			}, scriptedpeer.Quiet)
+			}, scriptedpeer.DiscardLog)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -130,7 +130,7 @@
 			first := enter()
 			defer first.Close()
 			io.WriteString(first, tc.before)
-			c := scriptedpeer.Within(t, step, "the server's look")
+			c := scriptedpeer.Receive(t, step, "the server's look")
 			switch {
 			case tc.again: // until it waits for more
 				scriptedpeer.Eventually(t, "the server's second look", c.input.isDrained)
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -100,9 +100,9 @@
 
 // figures are a client's of the present second, and of all.
 type figures struct {
-	by   [client.Verdicts]int
+	by   [client.VerdictCount]int
 	took []time.Duration
-	all  [client.Verdicts]int
+	all  [client.VerdictCount]int
 }
 
 // cast are the client processes: the last asks for far more than its share, now and then.
@@ -155,12 +155,12 @@
 		return err
 	}
 	for i, c := range cast {
-		o := client.Options{Name: c.name, Network: c.network, Addr: p.desk, Tenant: "acme", Rate: c.rate, For: 1e6 * time.Hour,
-			Most: 500, Seed: uint64(i), Classes: []client.Class{
-				{Name: "open-slots", Share: 0.5, Method: "GET", Wait: 500 * time.Millisecond},
-				{Name: "chair-status", Share: 0.25, Method: "GET", Wait: 500 * time.Millisecond},
-				{Name: "files", Share: 0.05, Method: "GET", Wait: 500 * time.Millisecond},
-				{Name: "book", Share: 0.2, Method: "POST", Keyed: true, Body: 300, Wait: 600 * time.Millisecond}}}
+		o := client.Options{Name: c.name, Network: c.network, Addr: p.desk, Tenant: "acme", Rate: c.rate, Duration: 1e6 * time.Hour,
+			MaxOpen: 500, Seed: uint64(i), Classes: []client.Class{
+				{Name: "open-slots", Share: 0.5, Method: "GET", Timeout: 500 * time.Millisecond},
+				{Name: "chair-status", Share: 0.25, Method: "GET", Timeout: 500 * time.Millisecond},
+				{Name: "files", Share: 0.05, Method: "GET", Timeout: 500 * time.Millisecond},
+				{Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 300, Timeout: 600 * time.Millisecond}}}
 		if c.network == "unix" {
 			o.Addr = filepath.Join(p.dir, "clients.sock")
 		}
@@ -174,19 +174,19 @@
 // node starts an endpoint.
 func (p *play) node(i int) (*node, error) {
 	zones := []string{"heredia", "san-jose", "cartago"}
-	o := endpoint.Options{Name: fmt.Sprint("s-", i), Work: map[string]time.Duration{"": nodeWork, "book": 2 * nodeWork},
-		Spread: 0.3, Cores: nodeCores, Queue: 50, Keyed: 400 * time.Millisecond, Ledger: p.ledger}
+	o := endpoint.Options{Name: fmt.Sprint("s-", i), ServiceTime: map[string]time.Duration{"": nodeWork, "book": 2 * nodeWork},
+		Spread: 0.3, Cores: nodeCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger}
 	if time.Since(p.began) > time.Second { // one that starts while all run is cold
-		o.ColdFrom, o.Warm = 0.2, 10*time.Second
+		o.WarmupStartSpeed, o.WarmupTime = 0.2, 10*time.Second
 	}
 	s, err := endpoint.Start(o)
 	if err != nil {
 		return nil, err
 	}
-	s.Faults(taken)
+	s.SetFaults(taken)
 	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Address: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
 		Lifecycle: "up", Weight: 1}
-	if o.Warm > 0 {
+	if o.WarmupTime > 0 {
 		e.StartedMs = time.Now().UnixMilli()
 	}
 	return &node{Server: s, entry: e}, nil
@@ -374,7 +374,7 @@
 			f.by[r.Verdict]++
 			f.all[r.Verdict]++
 			if r.Verdict == client.Served {
-				f.took = append(f.took, r.Took)
+				f.took = append(f.took, r.Latency)
 			}
 			p.mu.Unlock()
 		}
@@ -435,25 +435,25 @@
 		}
 	case 28:
 		p.say("%s fails every booking", p.endpoints[0].entry.ID)
-		p.endpoints[0].Faults(func(r *http.Request) endpoint.Fault {
+		p.endpoints[0].SetFaults(func(r *http.Request) endpoint.Fault {
 			if strings.HasPrefix(r.URL.Path, "/book") {
-				return endpoint.Fail
+				return endpoint.InternalError
 			}
-			return endpoint.None
+			return endpoint.NoFault
 		})
 	case 22:
 		p.say("the files' endpoints fail; the agenda's are served as before")
 		for _, n := range p.files {
-			n.Faults(func(*http.Request) endpoint.Fault { return endpoint.Fail })
+			n.SetFaults(func(*http.Request) endpoint.Fault { return endpoint.InternalError })
 		}
 	case 26:
 		p.say("the files' endpoints are well again")
 		for _, n := range p.files {
-			n.Faults(nil)
+			n.SetFaults(nil)
 		}
 	case 35:
 		p.say("%s is well again", p.endpoints[0].entry.ID)
-		p.endpoints[0].Faults(taken)
+		p.endpoints[0].SetFaults(taken)
 	}
 }
 
@@ -463,7 +463,7 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" && key[0] == '7' {
 		return endpoint.Conflict
 	}
-	return endpoint.None
+	return endpoint.NoFault
 }
 
 // screen prints the second's figures.
@@ -485,13 +485,13 @@
 			total.by[i] += f.by[i]
 		}
 		total.took = append(total.took, f.took...)
-		f.by, f.took = [client.Verdicts]int{}, nil
+		f.by, f.took = [client.VerdictCount]int{}, nil
 	}
 	total.line(&b, "all")
 	fmt.Fprintf(&b, "\n%-24s %-10s %-9s %9s %9s %9s\n", "endpoint", "zone", "state", "served/s", "working", "waiting")
 	for _, n := range slices.Concat(p.endpoints, p.files) {
 		working, waiting := n.Load()
-		served := n.Served()
+		served := n.ServedCount()
 		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n", n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.served, working, waiting)
 		n.served = served
 	}
@@ -507,8 +507,8 @@
 		}
 		return f.took[min(len(f.took)-1, int(q*float64(len(f.took))))].Seconds() * 1000
 	}
-	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name, f.by[client.Served], f.by[client.Answered], f.by[client.Refused], f.by[client.Failed],
-		f.by[client.Lost]+f.by[client.TimedOut]+f.by[client.Wrong], quantile(0.5), quantile(0.99))
+	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name, f.by[client.Served], f.by[client.ClientError], f.by[client.Rejected], f.by[client.Failed],
+		f.by[client.ConnectionLost]+f.by[client.TimedOut]+f.by[client.WrongResponse], quantile(0.5), quantile(0.99))
 }
 
 // end ends all that was started.
--- a/internal/sidecar/capped_test.go
+++ b/internal/sidecar/capped_test.go
@@ -68,11 +68,11 @@
 	})}
 	go full.Serve(ln)
 	t.Cleanup(func() { full.Close() })
-	other := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	other := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "other")
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", inner.Addr().String()), scripteddiscovery.Up("s-2", other)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", inner.Addr().String()), scripteddiscovery.Up("s-2", other)}))
 
 	// One request takes the one connection, and waits there; no other can be had meanwhile.
 	taken := make(chan int, 1)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -15,7 +15,7 @@
 // what has gone.
 func TestLists(t *testing.T) {
 	endpoint := func(name string) string {
-		return scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+		return scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 	}
 	one, two, three := scripteddiscovery.Up("s-1", endpoint("one")), scripteddiscovery.Up("s-2", endpoint("two")), scripteddiscovery.Up("s-1", endpoint("three"))
 	state := func(in discovery.Instance, lifecycle string) discovery.Instance {
@@ -24,7 +24,7 @@
 	}
 	b := scripteddiscovery.New(t)
 	s := start(t, configure(t, b.Addr, []discovery.Instance{one}))
-	scriptedpeer.Within(t, b.After, "watch")
+	scriptedpeer.Receive(t, b.Requests, "watch")
 	for i, step := range []struct {
 		reset     bool
 		instances []discovery.Instance
@@ -43,7 +43,7 @@
 		b.Lines <- scripteddiscovery.Line(generation, step.reset, step.instances...)
 		// The list has arrived once requests go where they should.
 		var got string
-		for end := time.Now().Add(scriptedpeer.Soon); ; {
+		for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
 			if _, got = s.request(t, look(900)); got == step.want || time.Now().After(end) {
 				break
 			}
@@ -67,8 +67,8 @@
 
 // The sidecar serves from the list that it was started with while discovery is down.
 func TestKnownListServes(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
 		t.Errorf("with a known list and no discovery: %s", resp.Status)
 	}
@@ -77,14 +77,14 @@
 // Where discovery is asked, the balancer asks for each watch and hears of one that fails.
 func TestPolledDiscovery(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	s := start(t, configure(t, b.Addr, []discovery.Instance{scripteddiscovery.Up("s-1", scriptedpeer.Nowhere(t))},
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})
+	s := start(t, configure(t, b.Addr, []discovery.Instance{scripteddiscovery.Up("s-1", scriptedpeer.ClosedAddress(t))},
 		`"discovery":"automatic"`, `"discovery":"subscribe"`))
-	scriptedpeer.Within(t, b.After, "first watch")
+	scriptedpeer.Receive(t, b.Requests, "first watch")
 	b.Lines <- "" // it ends
-	scriptedpeer.Within(t, b.After, "watch after one that ended")
+	scriptedpeer.Receive(t, b.Requests, "watch after one that ended")
 	b.Lines <- scripteddiscovery.Line(8, true, scripteddiscovery.Up("s-2", addr))
-	for end := time.Now().Add(scriptedpeer.Soon); ; {
+	for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
 		if resp, _ := s.request(t, look(900)); resp.StatusCode == 200 {
 			return
 		}
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -15,8 +15,8 @@
 // What is done at an endpoint is told, by its name and under its address, and read again by who counts a
 // fleet's logs.
 func TestEventsAreLogged(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
-	c := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "one") })
+	c := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	var out bytes.Buffer
 	c.Events = &out
 	s := start(t, c)
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -24,7 +24,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s := &sidecar{config: &platform.Config{SharedDir: dir}, log: scriptedpeer.Quiet}
+	s := &sidecar{config: &platform.Config{SharedDir: dir}, log: scriptedpeer.DiscardLog}
 	words := s.readCordons()
 	want := []cordon.Record{{Name: "s-0", Cordoned: true, At: 1_700_000_000_000_001}, {Name: "s-1", Cordoned: false, At: 2}}
 	if len(words) != len(want) || words[0] != want[0] || words[1] != want[1] {
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	parts, err := assemble(c, dial, scriptedpeer.Quiet)
+	parts, err := assemble(c, dial, scriptedpeer.DiscardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 		stop()
 		<-s.ended
 	})
-	for end := time.Now().Add(scriptedpeer.Soon); ; {
+	for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
 		resp, err := http.Get("http://" + s.addr + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -148,7 +148,7 @@
 	if err := r.Write(c); err != nil {
 		t.Fatal(err)
 	}
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -48,13 +48,13 @@
 
 // counting is an endpoint that counts the bytes of what comes, and answers.
 func counting(t *testing.T, bytes *atomic.Int64) string {
-	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
 			if _, err := r.Peek(1); err != nil {
 				return
 			}
 			bytes.Add(int64(r.Buffered()))
-			if _, err := scriptedpeer.Take(r); err != nil {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
@@ -95,9 +95,9 @@
 
 // hanging is an endpoint that takes requests, counts them and never answers.
 func hanging(t *testing.T, taken *atomic.Int32) string {
-	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			if _, err := scriptedpeer.Take(r); err != nil {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
 				return
 			}
 			taken.Add(1)
@@ -145,7 +145,7 @@
 					t.Parallel()
 					var got atomic.Int64
 					h := holdDials()
-					cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
+					cfg := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}, `"cancel":true`, `"cancel":`+cancel)
 					s := startDialing(t, cfg, h.dial)
 					nc, err := net.Dial("tcp", s.addr)
 					if err != nil {
@@ -153,7 +153,7 @@
 					}
 					defer nc.Close()
 					go io.WriteString(nc, sent(t, make())) // a body that streams is not taken before the connection is up
-					scriptedpeer.Within(t, h.dialing, "dial")
+					scriptedpeer.Receive(t, h.dialing, "dial")
 					leave(t, nc.(*net.TCPConn))
 					left := time.Now()
 					s.forgets(t, left)
@@ -183,7 +183,7 @@
 	var mu sync.Mutex
 	var taken []time.Time
 	release := make(chan struct{})
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/load" {
 			<-release
 			return
@@ -200,7 +200,7 @@
 	}
 	for round := 0; ; round++ {
 		// A new one each time: who was asked more lately does not wait for probes.
-		s := start(t, configure(t, scriptedpeer.Nowhere(t), list,
+		s := start(t, configure(t, scriptedpeer.ClosedAddress(t), list,
 			`"probes":false`, `"probes":true`, `"target":500000,"give-up":1000000`, `"target":1000000,"give-up":9000000`))
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
@@ -236,7 +236,7 @@
 func TestLeavesBehindAStreamedBody(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -245,7 +245,7 @@
 	if _, err := io.WriteString(nc, sent(t, request("POST", "/pay", "pay", 900, strings.Repeat("x", 70<<10)))); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, h.dialing, "dial")
+	scriptedpeer.Receive(t, h.dialing, "dial")
 	nc.Close()
 	left := time.Now()
 	s.forgets(t, left)
@@ -262,7 +262,7 @@
 func TestLeaveInABurst(t *testing.T) {
 	var got atomic.Int64
 	h := holdDials()
-	s := startDialing(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
+	s := startDialing(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", counting(t, &got))}), h.dial)
 	const many, out = 40, 4 // the others are turned away, or have not been looked at yet
 	var conns []net.Conn
 	for range many {
@@ -274,7 +274,7 @@
 		conns = append(conns, c)
 	}
 	for range out {
-		scriptedpeer.Within(t, h.dialing, "dial")
+		scriptedpeer.Receive(t, h.dialing, "dial")
 	}
 	for i, c := range conns {
 		if i%2 == 0 {
@@ -301,7 +301,7 @@
 func TestLeftBeforeItIsRead(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"cancel":true`, `"cancel":false`))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -43,7 +43,7 @@
 	for i := range delays {
 		delays[i] = time.Duration(rng.IntN(30)) * time.Millisecond
 	}
-	addr := scriptedpeer.Web(t, func(rw http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Trace-Id")
 		w.mu.Lock()
@@ -56,7 +56,7 @@
 		}
 		io.WriteString(rw, id)
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	one := func(rng *rand.Rand) {
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
@@ -93,7 +93,7 @@
 			w.mu.Unlock()
 			return
 		}
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		in := bufio.NewReader(c)
 		for i, id := range ids {
 			resp, err := http.ReadResponse(in, nil)
@@ -133,7 +133,7 @@
 	}
 	s.stop()
 	last.Wait()
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		w.logf("ended with %v", err)
 	}
 	w.mu.Lock()
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -18,7 +18,7 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		t.Run(mode, func(t *testing.T) {
 			endpoint := func(name string) string {
-				return scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+				return scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 			}
 			one, two, three := scripteddiscovery.Up("s-1", endpoint("one")), scripteddiscovery.Up("s-2", endpoint("two")), scripteddiscovery.Up("s-3", endpoint("three"))
 			for _, in := range []*discovery.Instance{&one, &two, &three} {
@@ -29,12 +29,12 @@
 			}
 			old, next := scripteddiscovery.New(t), scripteddiscovery.New(t)
 			// As with ROUTER_DISCOVERY: the start goes by it, a file that changes goes before it.
-			c := configured(scriptedpeer.Nowhere(t))
+			c := configured(scriptedpeer.ClosedAddress(t))
 			c.Discovery = old.Addr
 			s := start(t, c)
-			expect := func(b *scripteddiscovery.Board, want string) {
+			expect := func(b *scripteddiscovery.Server, want string) {
 				t.Helper()
-				if got := scriptedpeer.Within(t, b.After, "call of discovery"); got != want {
+				if got := scriptedpeer.Receive(t, b.Requests, "call of discovery"); got != want {
 					t.Errorf("asked with %q, want %q", got, want)
 				}
 			}
@@ -64,7 +64,7 @@
 // serves waits until only the endpoint of this name answers.
 func (s *running) serves(t *testing.T, want string) {
 	t.Helper()
-	for end, times := time.Now().Add(scriptedpeer.Soon), 0; times < 5; {
+	for end, times := time.Now().Add(scriptedpeer.WaitTimeout), 0; times < 5; {
 		_, got := s.request(t, look(900))
 		if times++; got != want {
 			times = 0
@@ -78,14 +78,14 @@
 // Configurations may come while the sidecar stops.
 func TestReloadWhileStopping(t *testing.T) {
 	b := scripteddiscovery.New(t)
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
-	c := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})
+	c := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	s := start(t, c)
 	s.stop()
 	s.reload <- syscall.SIGHUP
 	s.config <- configure(t, b.Addr, nil)
-	scriptedpeer.Within(t, b.After, "call of discovery")
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	scriptedpeer.Receive(t, b.Requests, "call of discovery")
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -29,7 +29,7 @@
 		body string
 	}
 	got := make(chan seen, 64)
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		got <- seen{r, string(b)}
 		if w.Header()["Content-Type"] = nil; r.Method == "GET" {
@@ -38,7 +38,7 @@
 		w.Header().Set("Endpoint-Load-Metrics", "TEXT busy_reqs=1")
 		io.WriteString(w, "\x00card "+string(b))
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, r := range []*http.Request{
 		look(480),
 		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
@@ -80,8 +80,8 @@
 // What makes no sense gets a plain 4xx, and no endpoint hears of it.
 func TestBadRequests(t *testing.T) {
 	var sent atomic.Int32
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	without := func(r *http.Request, header string) *http.Request {
 		r.Header.Del(header)
 		return r
@@ -200,11 +200,11 @@
 		{"no connection, unsafe", nil, "pay", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := scriptedpeer.Nowhere(t)
+			addr := scriptedpeer.ClosedAddress(t)
 			if tc.h != nil {
-				addr = scriptedpeer.Web(t, tc.h)
+				addr = scriptedpeer.StartHTTP(t, tc.h)
 			}
-			s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+			s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 			method := "POST"
 			if tc.class == "look" {
 				method = "GET"
@@ -242,15 +242,15 @@
 			var copies atomic.Int32
 			// The first to be asked breaks its connection after reading the request.
 			endpoint := func() string {
-				return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-					if _, err := scriptedpeer.Take(r); err == nil && copies.Add(1) > 1 {
+				return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := scriptedpeer.ReadRequest(r); err == nil && copies.Add(1) > 1 {
 						io.WriteString(c, okAnswer)
 					}
 				})
 			}
 			other := scripteddiscovery.Up("s-2", endpoint())
 			other.Cell = tc.cell
-			s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), other}))
+			s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), other}))
 			resp, _ := s.request(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
 			if n := copies.Load(); n > tc.mostCopies {
 				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
@@ -267,9 +267,9 @@
 func TestHeadWithoutBody(t *testing.T) {
 	var heads atomic.Int32
 	var stalls atomic.Bool
-	bad := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	bad := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			if _, err := scriptedpeer.Take(r); err != nil {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
 				return
 			}
 			if stalls.Load() {
@@ -282,14 +282,14 @@
 		r.Peek(1) // until it is withdrawn
 	})
 	stalls.Store(true)
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad)}))
 	asked := time.Now()
 	resp, _ := s.request(t, request("POST", "/pay", "pay", 400, "x"))
 	if took := time.Since(asked); resp.StatusCode != 504 || took > 450*time.Millisecond || heads.Load() != 1 {
 		t.Errorf("alone: %s after %v, with %d attempts", resp.Status, took, heads.Load())
 	}
-	good := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
-	s = start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad), scripteddiscovery.Up("s-2", good)}))
+	good := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	s = start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", bad), scripteddiscovery.Up("s-2", good)}))
 	stalls.Store(false)
 	for range 20 { // it learns how long answers take; until then any silence is waited for
 		s.request(t, look(900))
@@ -305,14 +305,14 @@
 // An endpoint that is mute must not keep the client waiting past its time, nor the connection open.
 func TestDeadline(t *testing.T) {
 	ended := make(chan error, 3)
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := scriptedpeer.Take(r); err != nil {
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := scriptedpeer.ReadRequest(r); err != nil {
 			return
 		}
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, tc := range []struct {
 		class string
 		want  int
@@ -322,7 +322,7 @@
 		if took := time.Since(begun); took > 250*time.Millisecond || resp.StatusCode != tc.want { // 50 ms are the machine's (PROTOCOL)
 			t.Errorf("%s: %s after %v, want %d within 250 ms", tc.class, resp.Status, took, tc.want)
 		}
-		if err := scriptedpeer.Within(t, ended, "end of the attempt"); err != io.EOF {
+		if err := scriptedpeer.Receive(t, ended, "end of the attempt"); err != io.EOF {
 			t.Errorf("%s: the endpoint read on: %v", tc.class, err)
 		}
 	}
@@ -335,13 +335,13 @@
 // A client that goes takes its attempt with it.
 func TestClientGone(t *testing.T) {
 	taken, ended := make(chan struct{}), make(chan error, 1)
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		scriptedpeer.Take(r)
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.ReadRequest(r)
 		close(taken)
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
+	cfg := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -350,9 +350,9 @@
 	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
 		t.Fatal(err)
 	}
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	c.Close()
-	if err := scriptedpeer.Within(t, ended, "end of the attempt"); err != io.EOF {
+	if err := scriptedpeer.Receive(t, ended, "end of the attempt"); err != io.EOF {
 		t.Errorf("the endpoint read on: %v", err)
 	}
 }
@@ -360,11 +360,11 @@
 // Requests over the settings' limit never ran.
 func TestRequestLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
 	first := make(chan int)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -375,12 +375,12 @@
 		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 		first <- resp.StatusCode
 	}()
-	scriptedpeer.Within(t, taken, "first attempt")
+	scriptedpeer.Receive(t, taken, "first attempt")
 	if resp, _ := s.request(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
 		t.Errorf("second: %s, want 503", resp.Status)
 	}
 	close(release)
-	if code := scriptedpeer.Within(t, first, "first answer"); code != 200 {
+	if code := scriptedpeer.Receive(t, first, "first answer"); code != 200 {
 		t.Errorf("first: %d, want 200", code)
 	}
 	if len(taken) != 0 {
@@ -392,13 +392,13 @@
 // sidecar a descriptor that it needs.
 func TestConnectionLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
+	cfg := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 	cfg.Sockets = platform.MinSockets
 	s := start(t, cfg)
 	dial := func() net.Conn {
@@ -415,7 +415,7 @@
 		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 		waiting <- resp.StatusCode
 	}()
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	var silent []net.Conn
 	for range 2 * clientLimits(cfg.Sockets).MaxConnections {
 		silent = append(silent, dial())
@@ -436,7 +436,7 @@
 		t.Errorf("a connection silent for a moment: %s", resp.Status)
 	}
 	close(release)
-	if code := scriptedpeer.Within(t, waiting, "answer"); code != 200 {
+	if code := scriptedpeer.Receive(t, waiting, "answer"); code != 200 {
 		t.Errorf("the request that waited meanwhile: %d", code)
 	}
 }
@@ -445,9 +445,9 @@
 func TestFastEndpoints(t *testing.T) {
 	var known []discovery.Instance
 	for i := range 4 {
-		known = append(known, scripteddiscovery.Up(fmt.Sprint("s-", i), scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})))
+		known = append(known, scripteddiscovery.Up(fmt.Sprint("s-", i), scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})))
 	}
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), known))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), known))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -464,7 +464,7 @@
 // while those whose requests are open may take all that there are for clients (incident r412b9a).
 func TestRestingConnections(t *testing.T) {
 	taken, release := make(chan struct{}, 64), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
@@ -476,7 +476,7 @@
 	for i := range 64 {
 		many = append(many, scripteddiscovery.Up(fmt.Sprint("s-", i), addr))
 	}
-	cfg := configure(t, scriptedpeer.Nowhere(t), many)
+	cfg := configure(t, scriptedpeer.ClosedAddress(t), many)
 	cfg.Sockets = 2 * platform.MinSockets
 	limits := clientLimits(cfg.Sockets)
 	if 4*limits.MaxIdle > cfg.Sockets {
@@ -501,7 +501,7 @@
 	}
 	// The earliest are closed at once, not after the idle time.
 	for i, c := range stayed[:limits.MaxIdle] {
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
 			t.Fatalf("connection %d: %v, want it closed", i, err)
 		}
@@ -519,11 +519,11 @@
 			resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
 			codes <- resp.StatusCode
 		}()
-		scriptedpeer.Within(t, taken, "an attempt of each that is open")
+		scriptedpeer.Receive(t, taken, "an attempt of each that is open")
 	}
 	free()
 	for range limits.MaxConnections {
-		if code := scriptedpeer.Within(t, codes, "answer"); code != 200 {
+		if code := scriptedpeer.Receive(t, codes, "answer"); code != 200 {
 			t.Errorf("of those open together: %d", code)
 		}
 	}
@@ -532,8 +532,8 @@
 // Whoever sends no whole request is told so or cut off within 3 s, before another reading and before the
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	for _, text := range []string{
 		"",
 		"GET /look/1 HT",
@@ -560,11 +560,11 @@
 // Two requests of one id would be one and the same to an endpoint.
 func TestOpenID(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -576,14 +576,14 @@
 		resp, _ := s.requestOn(t, c, r)
 		first <- resp.StatusCode
 	}()
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	again := look(900)
 	again.Header.Set("X-Trace-Id", r.Header.Get("X-Trace-Id"))
 	if resp, _ := s.request(t, again); resp.StatusCode != 409 {
 		t.Errorf("an open id: %s, want 409", resp.Status)
 	}
 	close(release)
-	if code := scriptedpeer.Within(t, first, "answer"); code != 200 {
+	if code := scriptedpeer.Receive(t, first, "answer"); code != 200 {
 		t.Errorf("its owner: %d, want 200", code)
 	}
 	if resp, _ := s.request(t, again); resp.StatusCode != 200 {
@@ -612,7 +612,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var failed, served atomic.Int32
-			half := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+			half := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 				if tc.bad(r) {
 					failed.Add(1)
 					tc.handle(w, r)
@@ -620,8 +620,8 @@
 				}
 				served.Add(1)
 			})
-			whole := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) {})
-			s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", half), scripteddiscovery.Up("s-2", whole)},
+			whole := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})
+			s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", half), scripteddiscovery.Up("s-2", whole)},
 				`"tenants":[`, `"tenants":[{"name":"zeta","allowance-per-s":100.0,"share":1.0},`))
 			const rounds = 40
 			for range rounds {
@@ -648,10 +648,10 @@
 	var silent atomic.Bool
 	var lost atomic.Int32
 	endpoint := func(falls bool) string {
-		return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 			old := falls && !silent.Load()
 			for {
-				if _, err := scriptedpeer.Take(r); err != nil {
+				if _, err := scriptedpeer.ReadRequest(r); err != nil {
 					return
 				}
 				if old && silent.Load() {
@@ -662,7 +662,7 @@
 			}
 		})
 	}
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint(true)), scripteddiscovery.Up("s-2", endpoint(false))}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint(true)), scripteddiscovery.Up("s-2", endpoint(false))}))
 	for range 40 { // the sidecar learns how long requests take, over some connections at once
 		var several sync.WaitGroup
 		for range 8 {
@@ -685,13 +685,13 @@
 // Connection: close, what was taken before is finished, and the sidecar ends without error.
 func TestStop(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	idle, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -707,10 +707,10 @@
 			t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
 		}
 	})
-	scriptedpeer.Within(t, taken, "attempt")
+	scriptedpeer.Receive(t, taken, "attempt")
 	begun := time.Now()
 	s.stop()
-	idle.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	idle.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("idle connection: %v, want it closed", err)
 	}
@@ -723,7 +723,7 @@
 		t.Errorf("ready: %s after the order to stop", resp.Status)
 	}
 	close(release)
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	if took := time.Since(begun); took < 500*time.Millisecond {
@@ -734,7 +734,7 @@
 // A dial can outlast the grace for a drain: then nothing may go out, and the request never ran.
 func TestDialOutlastsDrain(t *testing.T) {
 	var sent atomic.Int32
-	addr := scriptedpeer.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
 	drained := scripteddiscovery.Up("s-1", addr)
 	drained.Lifecycle = "draining"
 	for _, tc := range []struct {
@@ -749,7 +749,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sent.Store(0)
-			cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
+			cfg := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)})
 			dialing, release := make(chan struct{}), make(chan struct{})
 			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
 				close(dialing)
@@ -766,14 +766,14 @@
 				resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
 				answer <- resp.StatusCode
 			}()
-			scriptedpeer.Within(t, dialing, "dial")
+			scriptedpeer.Receive(t, dialing, "dial")
 			tc.news.Generation = 8
 			s.parts.endpoints.UpdateEndpoints(context.Background(), tc.news.EndpointUpdate())
 			if tc.wait {
 				<-time.After(time.Duration(cfg.Site.Settings.Contract.DrainGrace) * time.Microsecond)
 			}
 			close(release)
-			if code := scriptedpeer.Within(t, answer, "answer"); code != tc.want {
+			if code := scriptedpeer.Receive(t, answer, "answer"); code != tc.want {
 				t.Errorf("answered %d, want %d", code, tc.want)
 			}
 			if got := sent.Load(); (got > 0) != (tc.want == 200) {
@@ -792,8 +792,8 @@
 			var got atomic.Int32
 			first := make(chan time.Time, 1)
 			endpoint := func() string {
-				return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-					if _, err := scriptedpeer.Take(r); err != nil {
+				return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := scriptedpeer.ReadRequest(r); err != nil {
 						return
 					}
 					if got.Add(1) == 1 {
@@ -805,7 +805,7 @@
 				})
 			}
 			var dials atomic.Int32
-			cfg := configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), scripteddiscovery.Up("s-2", endpoint())})
+			cfg := configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", endpoint()), scripteddiscovery.Up("s-2", endpoint())})
 			s := startDialing(t, cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 				if dials.Add(1) == 2 && late && err == nil {
--- a/internal/sidecar/size_test.go
+++ b/internal/sidecar/size_test.go
@@ -24,7 +24,7 @@
 	for i, a := range addr {
 		list = append(list, scripteddiscovery.Up(fmt.Sprint("s-", i), a))
 	}
-	return configure(t, scriptedpeer.Nowhere(t), list)
+	return configure(t, scriptedpeer.ClosedAddress(t), list)
 }
 
 func pattern(n int) []byte { return bytes.Repeat([]byte("0123456789abcdef"), n/16) }
@@ -43,7 +43,7 @@
 // All forms of a request reach the endpoint with the body that the client meant, and all forms of an answer the
 // client.
 func TestForms(t *testing.T) {
-	s := start(t, before(t, scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	s := start(t, before(t, scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			t.Errorf("%s: %v", r.URL, err)
@@ -80,7 +80,7 @@
 					io.WriteString(c, text[:min(piece, len(text))])
 				}
 			}()
-			c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+			c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 			r := bufio.NewReader(c)
 			for i, want := range tc.want {
 				q := &http.Request{Method: "GET"}
@@ -119,8 +119,8 @@
 	} {
 		var tries atomic.Int32
 		endpoint := func() string {
-			return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				if _, err := scriptedpeer.Take(r); err == nil {
+			return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := scriptedpeer.ReadRequest(r); err == nil {
 					tries.Add(1)
 					io.WriteString(c, tc.text)
 				}
@@ -132,7 +132,7 @@
 			t.Fatal(err)
 		}
 		look(900).Write(c)
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		r := bufio.NewReader(c)
 		var got []byte
 		resp, err := http.ReadResponse(r, nil)
@@ -154,7 +154,7 @@
 
 // Bodies far larger than what is held go through in both directions, with a length and without.
 func TestLargeBothWays(t *testing.T) {
-	s := start(t, before(t, scriptedpeer.Web(t, echo)))
+	s := start(t, before(t, scriptedpeer.StartHTTP(t, echo)))
 	body := pattern(8 << 20)
 	for _, sized := range []bool{true, false} {
 		r := request("POST", "/pay", "pay", 900, "x")
@@ -168,7 +168,7 @@
 		}
 		defer c.Close()
 		go r.Write(c)
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		resp, err := http.ReadResponse(bufio.NewReader(c), r)
 		if err != nil {
 			t.Fatal(err)
@@ -205,14 +205,14 @@
 			time.Sleep(25 * time.Millisecond)
 		}
 	}
-	s := start(t, before(t, scriptedpeer.Web(t, handle), scriptedpeer.Web(t, handle)))
+	s := start(t, before(t, scriptedpeer.StartHTTP(t, handle), scriptedpeer.StartHTTP(t, handle)))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	request("GET", "/look/large", "look", 900, "").Write(c)
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -232,7 +232,7 @@
 
 // A body that comes slowly is waited for, and the endpoint that takes it is not held for stuck meanwhile.
 func TestSlowUpload(t *testing.T) {
-	s := start(t, before(t, scriptedpeer.Web(t, echo)))
+	s := start(t, before(t, scriptedpeer.StartHTTP(t, echo)))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -246,7 +246,7 @@
 			t.Error("beside an upload:", resp.Status)
 		}
 	}
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -84,7 +84,7 @@
 // serveOn runs a sidecar with one endpoint on a listener of the test's own.
 func serveOn(t *testing.T, ln net.Listener, endpoint discovery.Instance) *running {
 	t.Helper()
-	s, err := assemble(configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{endpoint}), nil, scriptedpeer.Quiet)
+	s, err := assemble(configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{endpoint}), nil, scriptedpeer.DiscardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,7 +108,7 @@
 
 // What waits in the listener's queue as it is closed is served: the kernel has accepted it.
 func TestStopServesTheQueue(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	ln := &gated{TCPListener: loopback(t)}
 	s := serveOn(t, ln, scripteddiscovery.Up("s-1", addr))
 	s.request(t, look(900)) // it learns how fast the endpoint is
@@ -130,13 +130,13 @@
 	}
 	s.stop()
 	for i, c := range conns {
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 || !resp.Close { // more than one at once may be turned away
 			t.Errorf("connection %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -145,19 +145,19 @@
 // the last answer closes. The one before does not, and is not taken away by a reset.
 func TestStopBetweenPipelinedRequests(t *testing.T) {
 	taken, release := make(chan struct{}, 4), make(chan struct{})
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		taken <- struct{}{}
 		<-release
 		io.WriteString(w, "ok")
 	})
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	io.WriteString(c, sent(t, look(900)))
-	scriptedpeer.Within(t, taken, "first attempt")
+	scriptedpeer.Receive(t, taken, "first attempt")
 	io.WriteString(c, sent(t, look(900))+sent(t, look(900)))
 	s.stop()
 	scriptedpeer.Eventually(t, "all are to close", func() bool {
@@ -169,7 +169,7 @@
 		return resp.StatusCode == 503
 	})
 	close(release)
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	r := bufio.NewReader(c)
 	for i := range 3 {
 		resp, err := http.ReadResponse(r, nil)
@@ -184,7 +184,7 @@
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Errorf("behind the last: %v", err)
 	}
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
@@ -195,7 +195,7 @@
 func TestStopEndsInTime(t *testing.T) {
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
-	s := start(t, configure(t, scriptedpeer.Nowhere(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
+	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -208,7 +208,7 @@
 	s.stop()
 	late := time.AfterFunc(900*time.Millisecond, func() { io.WriteString(c, text[len(text)-1:]) }) // its time would end at 1.9 s
 	defer late.Stop()
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
@@ -217,7 +217,7 @@
 	if took := time.Since(begun); took > killed || taken.Load() != 1 || resp.StatusCode != 504 {
 		t.Errorf("%s after %v, with %d attempts", resp.Status, took, taken.Load())
 	}
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	if took := time.Since(begun); took > killed {
@@ -261,7 +261,7 @@
 // seen the connection rest, and would not send it again. One that never comes whole is given up when nothing of
 // it could be answered in time.
 func TestStopWaitsForHalfARequest(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "ok")
 	})
@@ -285,7 +285,7 @@
 		text := sent(t, request("POST", "/pay", "pay", 1000, "x"))
 		io.WriteString(c, text[:len(text)-missing])
 		halves = append(halves, half{c, text[len(text)-missing:]})
-		ours := scriptedpeer.Within(t, ln.accepted, "connection")
+		ours := scriptedpeer.Receive(t, ln.accepted, "connection")
 		scriptedpeer.Eventually(t, "it is read: the kernel holds nothing by which it could be known", func() bool { return !unread(t, ours) })
 	}
 	begun := time.Now()
@@ -299,13 +299,13 @@
 	})
 	for i, h := range halves[:2] {
 		io.WriteString(h.c, h.rest)
-		h.c.SetReadDeadline(time.Now().Add(scriptedpeer.Soon))
+		h.c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		resp, err := http.ReadResponse(bufio.NewReader(h.c), nil)
 		if err != nil || resp.StatusCode != 200 || !resp.Close {
 			t.Errorf("request %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := scriptedpeer.Within(t, s.ended, "end"); err != nil {
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
--- a/internal/upstream/connections_test.go
+++ b/internal/upstream/connections_test.go
@@ -57,9 +57,9 @@
 // other way round, a connection that nobody has.
 func runRandomEvents(t *testing.T, seed uint64, settle time.Duration) []string {
 	l := &requestLedger{received: map[string]int{}}
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := scriptedpeer.Take(r)
+			req, err := scriptedpeer.ReadRequest(r)
 			if err != nil {
 				return
 			}
