--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -43,7 +43,7 @@
 
 // newPool returns a pool with edits to its usual options.
 func newPool(edits ...func(*Options)) *Pool {
-	o := Options{Clock: clock.New(), Log: scriptedpeer.Quiet, DialTimeout: time.Second, KeepAlive: 15 * time.Second, MaxConns: 504,
+	o := Options{Clock: clock.New(), Log: scriptedpeer.DiscardLog, DialTimeout: time.Second, KeepAlive: 15 * time.Second, MaxConns: 504,
 		LoadFields: []string{"busy_reqs", "served_ps", "cpu_share"}}
 	for _, edit := range edits {
 		edit(&o)
@@ -55,7 +55,7 @@
 
 // try makes one attempt with a second of time.
 func (p *Pool) sendOnce(m *BufferedRequest, to core.Target) engine.AttemptResult {
-	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.Soon)
+	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
 	return p.SendBuffered(ctx, &core.AttemptContext{Target: to, Deadline: p.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, m)
 }
@@ -78,9 +78,9 @@
 		t.Run(name, func(t *testing.T) {
 			var taken atomic.Int32
 			u := newPool()
-			to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 				for i := 0; i < 2; i++ {
-					if _, err := scriptedpeer.Take(r); err != nil {
+					if _, err := scriptedpeer.ReadRequest(r); err != nil {
 						return
 					}
 					if taken.Add(1); i == 0 {
@@ -118,8 +118,8 @@
 
 // Whether a request may have run turns on its last byte.
 func TestLastByteDecides(t *testing.T) {
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		scriptedpeer.Take(r)
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.ReadRequest(r)
 		c.SetLinger(0) // breaks with a reset
 	})
 	m := idempotentPost(strings.Repeat("x", 1000))
@@ -147,7 +147,7 @@
 		})
 	}
 	u := newPool()
-	if r := u.sendOnce(m, u.newTarget(scriptedpeer.Nowhere(t))); r.Status != balancer.ConnectFailed {
+	if r := u.sendOnce(m, u.newTarget(scriptedpeer.ClosedAddress(t))); r.Status != balancer.ConnectFailed {
 		t.Errorf("refused connection: status %v, want ConnectFailed", r.Status)
 	}
 }
@@ -188,8 +188,8 @@
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseBytes), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				scriptedpeer.Take(r)
+			addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+				scriptedpeer.ReadRequest(r)
 				io.WriteString(c, tc.answer)
 			})
 			u := newPool()
@@ -213,8 +213,8 @@
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
-		addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-			scriptedpeer.Take(r)
+		addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+			scriptedpeer.ReadRequest(r)
 			io.WriteString(c, answer)
 			r.ReadByte()
 		})
@@ -230,8 +230,8 @@
 
 // An answer may come long after a 1xx.
 func TestSlowAfterInterim(t *testing.T) {
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		scriptedpeer.Take(r)
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.ReadRequest(r)
 		io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n")
 		time.Sleep(2 * maxResponseStall) // the work, not a wait for another
 		io.WriteString(c, okResponse)
@@ -244,9 +244,9 @@
 
 // A good answer with more behind it is good, and what is behind it answers nothing.
 func TestMoreBehindAnswer(t *testing.T) {
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := scriptedpeer.Take(r)
+			req, err := scriptedpeer.ReadRequest(r)
 			if err != nil {
 				return
 			}
@@ -304,7 +304,7 @@
 // Our own shortage is no fault of the endpoint's.
 func TestShortageIsNoFault(t *testing.T) {
 	u := newPool()
-	to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	to := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) }))
 	u.options.MaxConns = 0
 	if r := u.sendOnce(plainGet(), to); r.Status != balancer.NotSent {
 		t.Errorf("all connections in use: status %v, want Moot", r.Status)
@@ -333,8 +333,8 @@
 // whether it ran would not be known.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		scriptedpeer.Take(r)
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.ReadRequest(r)
 		io.WriteString(c, okResponse)
 		c.Close()
 		closed <- struct{}{}
@@ -345,16 +345,16 @@
 		if r := u.sendOnce(plainGet(), to); r.Status != balancer.OK {
 			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		scriptedpeer.Within(t, closed, "close")
+		scriptedpeer.Receive(t, closed, "close")
 	}
 }
 
 // answering is an endpoint that answers all that comes, and counts its connections.
 func startAnsweringEndpoint(t *testing.T, dials *atomic.Int32) string {
-	return scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := scriptedpeer.Take(r); err != nil {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
 				return
 			}
 			io.WriteString(c, okResponse)
@@ -431,7 +431,7 @@
 
 // The connection used last is used next, so that those not needed grow old and are closed.
 func TestLatestConnectionFirst(t *testing.T) {
-	addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) })
 	u := newPool()
 	to := u.newTarget(addr)
 	first, second := u.mustGet(t, to), u.mustGet(t, to)
@@ -445,8 +445,8 @@
 // Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
 func TestConnectionsAreBounded(t *testing.T) {
 	u := newPool()
-	one := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
-	two := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) }))
+	one := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) }))
+	two := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) }))
 	u.options.MaxConns = 2
 	ctx := context.Background()
 	a, err := u.Get(ctx, one)
@@ -468,7 +468,7 @@
 	}
 	// One that is refused gives its place back.
 	u.options.MaxConns = 3
-	if _, err := u.Get(ctx, u.newTarget(scriptedpeer.Nowhere(t))); err == nil {
+	if _, err := u.Get(ctx, u.newTarget(scriptedpeer.ClosedAddress(t))); err == nil {
 		t.Error("a connection to nobody")
 	}
 	if u.openConns != 2 {
@@ -478,7 +478,7 @@
 
 // A probe asks for the load where there are reports, for the health elsewhere, and waits only so long.
 func TestProbe(t *testing.T) {
-	addr := scriptedpeer.Web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/-/load":
 			io.WriteString(w, "TEXT cpu_share=0.61, busy_reqs=7, served_ps=2")
@@ -496,15 +496,15 @@
 		t.Errorf("probe without reports: status %v, load %v", r.Status, r.Load)
 	}
 	ended := make(chan error, 1)
-	mute := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		scriptedpeer.Take(r)
+	mute := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		scriptedpeer.ReadRequest(r)
 		_, err := r.ReadByte()
 		ended <- err
 	})
 	if r := newPool().newTarget(mute).Probe(); r.Status == balancer.OK {
 		t.Error("a probe that nobody answered is ok")
 	}
-	if err := scriptedpeer.Within(t, ended, "end of a mute probe"); err == nil {
+	if err := scriptedpeer.Receive(t, ended, "end of a mute probe"); err == nil {
 		t.Error("more was written to a mute probe")
 	}
 }
@@ -516,7 +516,7 @@
 	ctx := context.Background()
 	var conns []*Conn
 	for range 5 {
-		addr := scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.Take(r) })
+		addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) })
 		c, err := u.Get(ctx, u.newTarget(addr))
 		if err != nil {
 			t.Fatal(err)
@@ -575,10 +575,10 @@
 			const settle = 300 * time.Millisecond // long beside a pause of the machine
 			u := newPool(func(o *Options) { o.ReuseDelay = settle })
 			var conns atomic.Int32
-			to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 				mine := conns.Add(1)
 				for first := true; ; first = false {
-					if _, err := scriptedpeer.Take(r); err != nil {
+					if _, err := scriptedpeer.ReadRequest(r); err != nil {
 						return
 					}
 					io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", mine))
@@ -621,9 +621,9 @@
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
 	})
-	to := u.newTarget(scriptedpeer.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	to := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			if _, err := scriptedpeer.Take(r); err != nil {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
 				return
 			}
 			io.WriteString(c, okResponse)
--- a/internal/xdsclient/client_test.go
+++ b/internal/xdsclient/client_test.go
@@ -65,7 +65,7 @@
 		InstanceName: "i-1",
 		Zone:         "a",
 		Applied:      running,
-		Log:          scriptedpeer.Quiet,
+		Log:          scriptedpeer.DiscardLog,
 		OnUpdate: func(u xdsclient.Update) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/internal/xdsclient/golden_test.go
+++ b/internal/xdsclient/golden_test.go
@@ -103,7 +103,7 @@
 	server, address := startRecordingServer(t)
 	client := startClient(t, settings(address), &rollout.ID{Epoch: "e", Number: 6})
 	var requests []*discovery.DiscoveryRequest
-	receive := func(what string) { requests = append(requests, scriptedpeer.Within(t, server.requests, what)) }
+	receive := func(what string) { requests = append(requests, scriptedpeer.Receive(t, server.requests, what)) }
 	receive("the first request")
 
 	response := &discovery.DiscoveryResponse{}
--- a/internal/xdsclient/interop_test.go
+++ b/internal/xdsclient/interop_test.go
@@ -70,7 +70,7 @@
 	}
 	f.Nack(two.Version.ID, "not today", &one.Version.ID)
 	expected := xdsclient.FormatVersionInfo(one.Version.ID) + ": not today"
-	if got := scriptedpeer.Within(t, rejected, "the NACK"); got != expected {
+	if got := scriptedpeer.Receive(t, rejected, "the NACK"); got != expected {
 		t.Errorf("NACK %q, not %q", got, expected)
 	}
 	set(3)
