--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,20 +25,20 @@
 	probeTimeout     = 250 * time.Millisecond
 )
 
-// Message is a request as it goes on to an endpoint, but for the time that it has left.
+// BufferedRequest is a request as it goes on to an endpoint, but for the time that it has left.
 type BufferedRequest struct {
 	Method, URI, Host string
 	Header            http.Header // end-to-end headers
 	Body              []byte
 }
 
-// Answer is an endpoint's 200 answer.
+// BufferedResponse is an endpoint's 200 answer.
 type BufferedResponse struct {
 	Header http.Header
 	Body   []byte
 }
 
-// Send makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
+// SendBuffered makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
 func (p *Pool) SendBuffered(ctx context.Context, t *core.AttemptContext, m *BufferedRequest) engine.AttemptResult {
 	c, left, status := p.acquire(ctx, t)
 	if c == nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,7 +70,7 @@
 	return &Pool{options: o, maxIdleTime: o.KeepAlive * 2 / 3, idleTargets: map[*Target]struct{}{}}
 }
 
-// Relayed returns how many attempts have been written whole to endpoints, their last byte included.
+// Forwarded returns how many attempts have been written whole to endpoints, their last byte included.
 func (p *Pool) Forwarded() uint64 { return p.forwarded.Load() }
 
 // Target is where one endpoint listens. Its connections are its own: a new endpoint may listen where one has
@@ -133,7 +133,7 @@
 	return balancer.ConnectFailed
 }
 
-// SettleTime is how long a connection rests after an answer. A second one may come some milliseconds late: what was written to
+// DefaultReuseDelay is how long a connection rests after an answer. A second one may come some milliseconds late: what was written to
 // the connection meanwhile would be answered by it. A rest of this length shows such an answer, and the connection is
 // not used again. One that comes later still is only shown if nothing was written in between.
 const DefaultReuseDelay = 20 * time.Millisecond
@@ -234,7 +234,7 @@
 
 func (p *Pool) isUsable(c *Conn) bool { return time.Since(c.idleSince) < p.maxIdleTime && c.isAlive() }
 
-// Rest bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
+// LimitIdle bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
 // one, one is held for that part of its time: over many instances that comes to the same. The one unused longest gives way.
 // 0 takes the bound of that one back.
 func (p *Pool) LimitIdle(who string, n float64) {
@@ -375,7 +375,7 @@
 	}
 }
 
-// Idle says whether connections that are not in use are kept. Another process may need the descriptors.
+// SetKeepIdle says whether connections that are not in use are kept. Another process may need the descriptors.
 func (p *Pool) SetKeepIdle(keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -385,7 +385,7 @@
 	}
 }
 
-// Keep sweeps until ctx ends, and then closes what is idle.
+// Run sweeps until ctx ends, and then closes what is idle.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -37,7 +37,7 @@
 	return cmp.Or(q.ResponseTimeout, q.Policy.ResponseTimeout)
 }
 
-// Rules say what an endpoint's answers mean, and what bounds them.
+// ResponsePolicy say what an endpoint's answers mean, and what bounds them.
 type ResponsePolicy struct {
 	FailureStatus  [600]bool // these statuses count as an error of the endpoint
 	RejectedStatus [600]bool // and these, with Retry-After, as turned away unseen
@@ -65,7 +65,7 @@
 
 var streamBuffers = sync.Pool{New: func() any { return new([streamBufferSize]byte) }}
 
-// Stream is a request's body that is passed on as it comes. The first attempt that takes it has it for good: it cannot
+// RequestStream is a request's body that is passed on as it comes. The first attempt that takes it has it for good: it cannot
 // be shown again.
 type RequestStream struct {
 	Body     *http1msg.Body
@@ -82,24 +82,24 @@
 	err     error         // what ended it, but for the end of the body; set before over is closed
 }
 
-// NewStream returns a stream.
+// NewRequestStream returns a stream.
 func NewRequestStream(b *http1msg.Body, length int64, wait, abort func()) *RequestStream {
 	return &RequestStream{Body: b, Length: length, MaxBytes: -1, BeforeRead: wait, Abort: abort, done: make(chan struct{})}
 }
 
-// Taken says whether an attempt has the body.
+// Claimed says whether an attempt has the body.
 func (s *RequestStream) Claimed() bool { return s.claimed.Load() }
 
-// Take takes the body for good, unless it has been taken: for an attempt, or so that no attempt has it any more.
+// Claim takes the body for good, unless it has been taken: for an attempt, or so that no attempt has it any more.
 func (s *RequestStream) Claim() bool { return s.claimed.CompareAndSwap(false, true) }
 
-// Over returns a channel that is closed once a body that was taken is not read any more.
+// Done returns a channel that is closed once a body that was taken is not read any more.
 func (s *RequestStream) Done() <-chan struct{} { return s.done }
 
 // Err returns what ended the reading of the client, once it is over: nil is its end, or that nobody wants more of it.
 func (s *RequestStream) Err() error { return s.err }
 
-// Whole is an endpoint's answer, with the head whole. Its body is in Held, and goes on in Rest if that is not nil.
+// Response is an endpoint's answer, with the head whole. Its body is in Held, and goes on in Rest if that is not nil.
 type Response struct {
 	StatusCode int
 	Interim    []InterimResponse // answers 1xx that came ahead
@@ -110,13 +110,13 @@
 	Stream     *ResponseStream
 }
 
-// Interim is an answer 1xx.
+// InterimResponse is an answer 1xx.
 type InterimResponse struct {
 	StatusCode int
 	Header     http.Header
 }
 
-// Rest is what follows of an answer that streams. One goroutine reads it to its end, or ends it.
+// ResponseStream is what follows of an answer that streams. One goroutine reads it to its end, or ends it.
 type ResponseStream struct {
 	conn      *Conn
 	body      *http1msg.Body
@@ -128,10 +128,10 @@
 	once      sync.Once
 }
 
-// ErrTooLong is of an answer that is larger than it may be, or takes longer.
+// ErrResponseTooLong is of an answer that is larger than it may be, or takes longer.
 var ErrResponseTooLong = errors.New("the answer is larger, or takes longer, than it may")
 
-// ErrBodyTooLong is of a request's body that is larger than it may be.
+// ErrRequestBodyTooLong is of a request's body that is larger than it may be.
 var ErrRequestBodyTooLong = errors.New("the body is larger than it may be")
 
 // Read reads what has come, waiting for some of it.
@@ -160,12 +160,12 @@
 // Trailer returns the trailers, once Read has returned io.EOF.
 func (r *ResponseStream) Trailer() http.Header { return r.body.Trailer() }
 
-// End says that nothing more is read: because the answer is whole, or because its client is gone.
+// Finish says that nothing more is read: because the answer is whole, or because its client is gone.
 func (r *ResponseStream) Finish() {
 	r.once.Do(func() { r.ended <- r.err })
 }
 
-// SendWhole makes one attempt (core.Attempt, but for the request). The Answer of its reply is a *Whole.
+// Send makes one attempt (core.Attempt, but for the request). The Answer of its reply is a *Whole.
 func (p *Pool) Send(ctx context.Context, t *core.AttemptContext, q *Request) engine.AttemptResult {
 	c, left, status := p.acquire(ctx, t)
 	if c == nil {
