--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -35,7 +35,15 @@
 }
 
 func newAttempt(in *instance, a *engine.Attempt) *attempt {
-	s := &attempt{instance: in, engineAttempt: a, endpoint: a.Endpoint.Target.(upstreamTarget).endpoint, request: a.Call.HostData.(*clientRequest), incarnation: in.incarnation, startedAt: in.run.now, awaited: true}
+	s := &attempt{
+		instance:      in,
+		engineAttempt: a,
+		endpoint:      a.Endpoint.Target.(upstreamTarget).endpoint,
+		request:       a.Call.HostData.(*clientRequest),
+		incarnation:   in.incarnation,
+		startedAt:     in.run.now,
+		awaited:       true,
+	}
 	a.HostData = s
 	return s
 }
@@ -48,7 +56,8 @@
 func (s *attempt) delay(what uint64) monotime.Micros {
 	who, which := s.randKey()
 	r := s.instance.run
-	return r.network.endpointDelay(s.instance.zone, s.endpoint.zone(), who, which, what) + r.plan.ExtraDelay(r.now, s.instance.index, s.endpoint.index)
+	return r.network.endpointDelay(s.instance.zone, s.endpoint.zone(), who, which, what) +
+		r.plan.ExtraDelay(r.now, s.instance.index, s.endpoint.index)
 }
 
 // start finds a connection.
@@ -104,7 +113,8 @@
 func (in *instance) closeOldestIdle() bool {
 	oldest := -1
 	for n, all := range in.idleUpstream {
-		if len(all) > 0 && (oldest < 0 || all[0].idleSince < in.idleUpstream[oldest][0].idleSince || all[0].idleSince == in.idleUpstream[oldest][0].idleSince && n < oldest) {
+		if len(all) > 0 && (oldest < 0 || all[0].idleSince < in.idleUpstream[oldest][0].idleSince ||
+			all[0].idleSince == in.idleUpstream[oldest][0].idleSince && n < oldest) {
 			oldest = n
 		}
 	}
@@ -131,7 +141,8 @@
 		s.endpoint.disconnect(s.connIncarnation)
 		return
 	}
-	if s.phase == notSent || !s.engineAttempt.Endpoint.MaySend(in.localTime()) || in.localTime() >= s.engineAttempt.Deadline ||
+	if s.phase == notSent || !s.engineAttempt.Endpoint.MaySend(in.localTime()) ||
+		in.localTime() >= s.engineAttempt.Deadline ||
 		s.engineAttempt.SendBefore > 0 && in.localTime() >= s.engineAttempt.SendBefore {
 		s.phase = notSent
 		s.keepConn()
@@ -159,7 +170,8 @@
 // keep gives the connection back for the next.
 func (s *attempt) keepConn() {
 	in := s.instance
-	in.idleUpstream[s.endpoint.index] = append(in.idleUpstream[s.endpoint.index], idleConn{s.connIncarnation, in.run.now})
+	in.idleUpstream[s.endpoint.index] = append(in.idleUpstream[s.endpoint.index],
+		idleConn{s.connIncarnation, in.run.now})
 	if in.maxIdleUpstream == 0 {
 		return
 	}
@@ -222,7 +234,8 @@
 	if e.zone() != s.instance.zone {
 		m.CrossZone++
 	}
-	if at, told := s.instance.leavingSince[e.index]; told && s.incarnation == s.instance.incarnation && s.startedAt > at+r.settings.Site.Settings.Contract.DrainGrace {
+	if at, told := s.instance.leavingSince[e.index]; told && s.incarnation == s.instance.incarnation &&
+		s.startedAt > at+r.settings.Site.Settings.Contract.DrainGrace {
 		m.AttemptsAfterDrain++
 	}
 	if !e.model.Up() || s.connIncarnation != e.incarnation {
@@ -233,7 +246,13 @@
 	who, which := s.randKey()
 	class := &r.plan.Classes[story.run.planClass(story.Class)]
 	draws := r.workRand.For(who, which)
-	s.job = simendpoint.Job{Class: story.Class, Work: simendpoint.DrawWork(draws, story.Work, class.Noise), IdempotencyKey: s.request.IdempotencyKey, Chance: r.faultRand.For(who, which).Float64(), HostData: s}
+	s.job = simendpoint.Job{
+		Class:          story.Class,
+		Work:           simendpoint.DrawWork(draws, story.Work, class.Noise),
+		IdempotencyKey: s.request.IdempotencyKey,
+		Chance:         r.faultRand.For(who, which).Float64(),
+		HostData:       s,
+	}
 	if story.class.Idempotency != balancer.IdempotentByKey {
 		s.job.IdempotencyKey = 0
 	}
@@ -287,7 +306,8 @@
 	} else {
 		s.keepConn()
 	}
-	s.instance.run.trace(s.request, s.engineAttempt.Number, s.instance.run.plan.Endpoints[s.endpoint.index].Name, statusStep(s.status))
+	s.instance.run.trace(s.request, s.engineAttempt.Number, s.instance.run.plan.Endpoints[s.endpoint.index].Name,
+		statusStep(s.status))
 	s.end(s.status)
 }
 
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -28,7 +28,13 @@
 }
 
 func newDiscoveryService(r *run) *discoveryService {
-	t := &discoveryService{run: r, dedupGroups: map[int]*simendpoint.DedupGroup{}, random: randstream.New(r.plan.Seed, "discovery"), generation: 1, lastChangeAt: make([]monotime.Micros, len(r.plan.Endpoints))}
+	t := &discoveryService{
+		run:          r,
+		dedupGroups:  map[int]*simendpoint.DedupGroup{},
+		random:       randstream.New(r.plan.Seed, "discovery"),
+		generation:   1,
+		lastChangeAt: make([]monotime.Micros, len(r.plan.Endpoints)),
+	}
 	for i := range r.plan.Endpoints {
 		m := t.endpointInfo(i, balancer.Ready)
 		if r.plan.Endpoints[i].StartsWithRun {
@@ -56,8 +62,15 @@
 // member is an endpoint's entry.
 func (t *discoveryService) endpointInfo(n int, state balancer.EndpointState) engine.EndpointInfo {
 	p := &t.run.plan.Endpoints[n]
-	return engine.EndpointInfo{Name: p.Name, Addr: strconv.Itoa(n), Zone: t.run.plan.Fleet.Zones[p.Zone], Kind: t.run.plan.Scenario.EndpointKinds[p.Kind].Kind,
-		Cell: uint16(p.Cell), State: state, Weight: float32(p.Config.Cores)}
+	return engine.EndpointInfo{
+		Name:   p.Name,
+		Addr:   strconv.Itoa(n),
+		Zone:   t.run.plan.Fleet.Zones[p.Zone],
+		Kind:   t.run.plan.Scenario.EndpointKinds[p.Kind].Kind,
+		Cell:   uint16(p.Cell),
+		State:  state,
+		Weight: float32(p.Config.Cores),
+	}
 }
 
 // news is a word of discovery to an instance.
@@ -103,7 +116,11 @@
 		if !in.subscribedTo(n) {
 			continue
 		}
-		x := &watchEvent{instance: in, incarnation: in.incarnation, update: engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: t.generation, Endpoints: members}}
+		x := &watchEvent{
+			instance:    in,
+			incarnation: in.incarnation,
+			update:      engine.EndpointUpdate{Kind: balancer.ListDelta, Generation: t.generation, Endpoints: members},
+		}
 		if t.silent {
 			t.heldBack = append(t.heldBack, x)
 			continue
@@ -116,7 +133,8 @@
 func (t *discoveryService) send(x *watchEvent) {
 	in := x.instance
 	spread := float64(t.run.plan.Discovery.Spread.Micros())
-	in.lastWatchEventAt = max(in.lastWatchEventAt+1, t.run.now+1+monotime.Micros(spread*t.random.For(uint64(in.index)|1<<62, uint64(t.generation)).Float64()))
+	in.lastWatchEventAt = max(in.lastWatchEventAt+1,
+		t.run.now+1+monotime.Micros(spread*t.random.For(uint64(in.index)|1<<62, uint64(t.generation)).Float64()))
 	t.run.events.push(in.lastWatchEventAt, watchEventArrives, 0, x)
 }
 
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -188,7 +188,8 @@
 	p := &e.run.plan.Endpoints[e.index]
 	e.pauses++
 	r := randstream.New(e.run.plan.Seed, "pauses").For(uint64(e.index), e.pauses)
-	e.run.events.push(e.run.now+1+monotime.Micros(r.ExpFloat64()*float64(p.PauseEvery)), endpointPauses, uint32(e.index), nil)
+	e.run.events.push(e.run.now+1+monotime.Micros(r.ExpFloat64()*float64(p.PauseEvery)), endpointPauses,
+		uint32(e.index), nil)
 }
 
 func (e *endpoint) pause() {
--- a/internal/simulation/fleetmessages.go
+++ b/internal/simulation/fleetmessages.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// replaced has another process take over from the instance's while it serves. Of that only the place among the others is played:
-// it is given away, and begun anew with what was given.
+// replaced has another process take over from the instance's while it serves. Of that only the place among the others
+// is played: it is given away, and begun anew with what was given.
 func (in *instance) upgrade() {
 	now := in.localTime()
 	if s := in.engine.HandOverCoordination(now); s != nil {
@@ -86,7 +86,8 @@
 func (w *fleetMessage) arrive() {
 	to := w.to
 	r := w.to.run
-	if to.down || to.incarnation != w.incarnation || r.plan.Partitioned(r.now, w.from.index, to.index) || r.network.zonesCut(w.from.zone, to.zone) {
+	if to.down || to.incarnation != w.incarnation || r.plan.Partitioned(r.now, w.from.index, to.index) ||
+		r.network.zonesCut(w.from.zone, to.zone) {
 		return
 	}
 	to.engine.ReceiveFleetMessage(to.localTime(), instanceName(w.from.index), w.message)
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -60,7 +60,14 @@
 
 func newInstance(r *run, n int) (*instance, error) {
 	p := &r.plan.Instances[n]
-	in := &instance{run: r, index: n, zone: p.Zone, site: r.settings.Site, down: true, seed: randstream.New(r.plan.Seed, "decisions").For(uint64(n), r.settings.DecisionSeed).Uint64()}
+	in := &instance{
+		run:   r,
+		index: n,
+		zone:  p.Zone,
+		site:  r.settings.Site,
+		down:  true,
+		seed:  randstream.New(r.plan.Seed, "decisions").For(uint64(n), r.settings.DecisionSeed).Uint64(),
+	}
 	s := &in.site.Settings
 	s.Balancers = len(r.plan.Instances)
 	s.Position = n
@@ -87,8 +94,13 @@
 // create makes the engine and what is around it, without a list.
 func (in *instance) create() error {
 	r := in.run
-	in.engine = engine.New(engine.Config{Site: &in.site, Seed: in.seed + uint64(in.incarnation), Concurrency: r.settings.Concurrency, Host: in,
-		OnQuotaSpent: func(_ monotime.Micros, budget string) { r.meter.QuotaSpent(r.now, budget) }})
+	in.engine = engine.New(engine.Config{
+		Site:         &in.site,
+		Seed:         in.seed + uint64(in.incarnation),
+		Concurrency:  r.settings.Concurrency,
+		Host:         in,
+		OnQuotaSpent: func(_ monotime.Micros, budget string) { r.meter.QuotaSpent(r.now, budget) },
+	})
 	if err := in.joinFleet(); err != nil {
 		return err
 	}
@@ -106,7 +118,14 @@
 		own.Instances = len(r.plan.Instances)
 		over = &own
 	}
-	in.pool, err = in.engine.NewPool(engine.PoolConfig{Subset: part, Overload: over, OnIdleConnections: func(n float64) { in.maxIdleUpstream = n }, RetryShare: r.settings.RetryBudget, InitialEndpoints: engine.EndpointUpdate{Generation: -1}, SetWatch: in.setWatch})
+	in.pool, err = in.engine.NewPool(engine.PoolConfig{
+		Subset:            part,
+		Overload:          over,
+		OnIdleConnections: func(n float64) { in.maxIdleUpstream = n },
+		RetryShare:        r.settings.RetryBudget,
+		InitialEndpoints:  engine.EndpointUpdate{Generation: -1},
+		SetWatch:          in.setWatch,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/simulation/instances_test.go
+++ b/internal/simulation/instances_test.go
@@ -2,14 +2,15 @@
 
 import "testing"
 
-// What happens to instances and on their ways shows where it happens, and nowhere else: stopped ones answer nothing until they
-// go on, severed ways carry nothing that way, deaf ones keep the list that they have.
+// What happens to instances and on their ways shows where it happens, and nowhere else: stopped ones answer nothing
+// until they go on, severed ways carry nothing that way, deaf ones keep the list that they have.
 func TestInstanceFaultsStayLocal(t *testing.T) {
 	figures := func(event string) map[string]float64 { return play(t, event, 3, testSettings(), nil).Figures }
 	calm := figures("")
 	for _, c := range []struct {
-		event                   string
-		served, least, attempts float64 // served at most and at least, and attempts for each story at least, as parts of calm
+		event string
+		// served at most and at least, and attempts for each story at least, as parts of calm
+		served, least, attempts float64
 	}{
 		{"what = \"freeze\"\nat = \"1s\"\nfor = \"6s\"", 0.6, 0.4, 0.4},
 		{"what = \"freeze\"\nat = \"1s\"\nfor = \"2s\"\nevery = \"50ms\"", 1, 0.8, 0.8},
--- a/internal/simulation/measure/faults_test.go
+++ b/internal/simulation/measure/faults_test.go
@@ -9,18 +9,37 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve says, by
-// second and class, whether its stories are served.
-func judged(serve func(second, class int) bool, reached func(instance int, at monotime.Micros) bool, arrive func(m *Meter)) map[string]float64 {
-	m := New(Criteria{Classes: []balancer.Class{{Name: "a", LatencyObjective: 200_000, PriorityWeight: 10}, {Name: "b", LatencyObjective: 200_000, PriorityWeight: 1}}}, 10*second, 1)
-	m.SetEnvironment(Environment{Capacity: func(monotime.Micros) float64 { return 0.1 }, Serving: reached}) // a tenth of a second's work in a second
+// judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve
+// says, by second and class, whether its stories are served.
+func judged(serve func(second, class int) bool, reached func(instance int, at monotime.Micros) bool,
+	arrive func(m *Meter)) map[string]float64 {
+	m := New(Criteria{Classes: []balancer.Class{{
+		Name:             "a",
+		LatencyObjective: 200_000,
+		PriorityWeight:   10,
+	}, {
+		Name:             "b",
+		LatencyObjective: 200_000,
+		PriorityWeight:   1,
+	}}}, 10*second, 1)
+	m.SetEnvironment(Environment{
+		Capacity: func(monotime.Micros) float64 { return 0.1 },
+		Serving:  reached,
+	}) // a tenth of a second's work in a second
 	m.SetFaultPeriod(3*second, 4*second)
 	id := uint64(0)
 	for s := range 10 {
 		for class := range 2 {
 			for i := range 10 { // of 10 ms each: both classes ask for all that can be done
 				id++
-				x := simclient.Operation{ID: id, Class: class, Tenant: -1, StartedAt: monotime.Micros(s)*second + monotime.Micros(i)*50_000, Work: 10_000, Outcome: simclient.Unserved}
+				x := simclient.Operation{
+					ID:        id,
+					Class:     class,
+					Tenant:    -1,
+					StartedAt: monotime.Micros(s)*second + monotime.Micros(i)*50_000,
+					Work:      10_000,
+					Outcome:   simclient.Unserved,
+				}
 				x.EndedAt = x.StartedAt + 50_000
 				if serve(s, class) {
 					x.Outcome = simclient.Served
@@ -50,13 +69,16 @@
 	near("of_could", best["of_could"], 1)
 	near("out_of_order", best["out_of_order"], 0)
 	near("back", best["back"], 1)
-	wrong := judged(func(s, class int) bool { return (class == 0) != (s == 5) }, always, nil) // one second the wrong way round
+	// one second the wrong way round
+	wrong := judged(func(s, class int) bool { return (class == 0) != (s == 5) }, always, nil)
 	near("of_could", wrong["of_could"], 0.91)
 	near("out_of_order", wrong["out_of_order"], 0.05)
-	worse := judged(func(s, class int) bool { return class == 0 && s < 8 }, always, nil) // from 3 s after the cause's end it is gone
+	// from 3 s after the cause's end it is gone
+	worse := judged(func(s, class int) bool { return class == 0 && s < 8 }, always, nil)
 	near("back", worse["back"], 0.333)
 	gone := judged(func(s, class int) bool { return class == 0 && s != 5 },
-		func(_ int, at monotime.Micros) bool { return at/second != 5 }, nil) // what nobody could take is held against nobody
+		// what nobody could take is held against nobody
+		func(_ int, at monotime.Micros) bool { return at/second != 5 }, nil)
 	near("of_could", gone["of_could"], 1)
 
 	arrived := judged(func(int, int) bool { return true }, always, func(m *Meter) {
--- a/internal/simulation/measure/figures.go
+++ b/internal/simulation/measure/figures.go
@@ -18,7 +18,9 @@
 	{"worst_window", "the same of the worst ten seconds", "", 1, 0.005, false},
 	{"worst_class", "of the worst class", "", 1, 0.005, false},
 	{"worst_tenant", "of the worst tenant, within its allowance", "", 1, 0.005, false},
-	{"modest", "service of the clients that ask for no more than twice what the median client of their instance does", "", 1, 0.005, false},
+	{"modest",
+		"service of the clients that ask for no more than twice what the median client of their instance does", "",
+		1, 0.005, false},
 	{"p99_modest", "99 in 100 of their answers are faster", "ms", -1, 5, false},
 	{"p50", "time to the answer, from the first try's beginning", "ms", -1, 1, false},
 	{"p90", "nine in ten are faster", "ms", -1, 2, false},
@@ -36,16 +38,22 @@
 	{"dials", "new connections to endpoints, a story", "a story", -1, 0.01, false},
 	{"waste", "endpoints' work without an answer that a client took, of all work asked for", "", -1, 0.005, false},
 	{"late_fail", "worth that was unserved past its aim", "", -1, 0.002, false},
-	{"further_peak", "further attempts for each first one that reached endpoints, in the worst second of a hundred first ones or more", "", -1, 0.01, false},
+	{"further_peak",
+		"further attempts for each first one that reached endpoints, in the worst second of a hundred first ones or more", "", -1, 0.01, false},
 	{"probes_peak", "probes a second at one endpoint, in the worst second of any", "", -1, 1, false},
 	{"probes_first", "probes for each first attempt", "", -1, 0.02, false},
 	{"dials_peak", "new connections a second at one endpoint, in the worst second of any", "", -1, 1, false},
 	{"back", "service from 3 s after the last of what goes wrong has ended, against that before the first began; 1 at the most", "", 1, 0.01, false},
-	{"of_could", "worth served within the aim, of what the endpoints' work could have served at best", "", 1, 0.01, false},
-	{"out_of_order", "work not served while such of less worth for its work was, in the same second, of all work", "", -1, 0.01, false},
-	{"over_budget", "requests let in of a tenant that has a limit over all instances, in its worst second, of the limit", "", -1, 0.01, false},
+	{"of_could", "worth served within the aim, of what the endpoints' work could have served at best", "", 1, 0.01,
+		false},
+	{"out_of_order", "work not served while such of less worth for its work was, in the same second, of all work",
+		"", -1, 0.01, false},
+	{"over_budget",
+		"requests let in of a tenant that has a limit over all instances, in its worst second, of the limit", "",
+		-1, 0.01, false},
 	{"beyond_limit", "requests of a tenant let in beyond its limit over all instances, in any second", "", -1, 0, true},
-	{"budget_use", "of the tenants' limits, what was let in, in seconds in which a fifth more was asked for", "", 1, 0.01, false},
+	{"budget_use", "of the tenants' limits, what was let in, in seconds in which a fifth more was asked for", "", 1,
+		0.01, false},
 	{"work_sent", "requests that reached a machine at work", "", -1, 0, true},
 	{"work_left", "machines that were asked to go out and are not back", "", -1, 0, true},
 	{"work_took", "until all were back", "s", -1, 1, false},
@@ -60,8 +68,11 @@
 			return f, true
 		}
 	}
-	for prefix, f := range map[string]Figure{"service.": {"", "service of this class or tenant alone", "", 1, 0.005, false},
-		"p50.": {"", "median time of this class", "ms", -1, 1, false}, "p99.": {"", "99 in 100 of this class are faster", "ms", -1, 5, false}} {
+	for prefix, f := range map[string]Figure{
+		"service.": {"", "service of this class or tenant alone", "", 1, 0.005, false},
+		"p50.":     {"", "median time of this class", "ms", -1, 1, false},
+		"p99.":     {"", "99 in 100 of this class are faster", "ms", -1, 5, false},
+	} {
 		if len(name) > len(prefix) && name[:len(prefix)] == prefix {
 			f.Name = name
 			return f, true
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -1,7 +1,7 @@
-// Package measure judges a run as the users do: service is the worth answered within each class's aim over the worth asked
-// for, from the first second, with a client's retries counted as part of its first try; of the whole run, its worst ten
-// seconds, its worst class and its worst tenant within its share, weighed by the site's goal and less the site's prices. It
-// counts what cost and what broke beside that. It knows stories, and nothing of how they were played.
+// Package measure judges a run as the users do: service is the worth answered within each class's aim over the worth
+// asked for, from the first second, with a client's retries counted as part of its first try; of the whole run, its
+// worst ten seconds, its worst class and its worst tenant within its share, weighed by the site's goal and less the
+// site's prices. It counts what cost and what broke beside that. It knows stories, and nothing of how they were played.
 package measure
 
 import (
@@ -26,7 +26,8 @@
 	OverQuotaWeight float64           // what a tenant's request beyond its allowance is worth
 	Goal            balancer.Goal
 	Prices          balancer.Prices
-	TenantLimits    map[string]float64 // of tenants, by name: requests a second that are let in over all instances; 0 is no limit
+	// of tenants, by name: requests a second that are let in over all instances; 0 is no limit
+	TenantLimits map[string]float64
 }
 
 const (
@@ -47,14 +48,16 @@
 	Decisions      int64   `json:"Decisions"` // requests, outcomes, probes and timers that instances decided on
 
 	// Rules that were broken.
-	Collapses          int64 `json:"Falls"`      // endpoints pushed over while cold
-	AttemptsAfterDrain int64 `json:"Drained"`    // attempts that reached an endpoint past the grace after its instance knew that it drains
+	Collapses int64 `json:"Falls"` // endpoints pushed over while cold
+	// attempts that reached an endpoint past the grace after its instance knew that it drains
+	AttemptsAfterDrain int64 `json:"Drained"`
 	DuplicateEffects   int64 `json:"Twice"`      // stories that took effect more than once by their instances' doing
 	LateResponses      int64 `json:"LateAnswer"` // final answers that came after the client's deadline, or not at all
 
-	ClientDuplicateEffects int64 `json:"ClientsTwice"` // stories that took effect more than once by their clients' own tries
-	KilledInFlight         int64 `json:"KilledOpen"`   // tries that instances held when they were killed
-	FleetMessages          int64 `json:"Words"`        // that instances told one another
+	// stories that took effect more than once by their clients' own tries
+	ClientDuplicateEffects int64 `json:"ClientsTwice"`
+	KilledInFlight         int64 `json:"KilledOpen"` // tries that instances held when they were killed
+	FleetMessages          int64 `json:"Words"`      // that instances told one another
 }
 
 // Meter judges one run. Make one with New.
@@ -121,7 +124,11 @@
 		m.bins[i].zones = make([]weightSum, zones)
 	}
 	m.seconds = make([]weightSum, (length+second-1)/second)
-	m.arrivals = arrivals{seconds: make([]Second, len(m.seconds)), probes: make([][]uint32, len(m.seconds)), dials: make([][]uint32, len(m.seconds))}
+	m.arrivals = arrivals{
+		seconds: make([]Second, len(m.seconds)),
+		probes:  make([][]uint32, len(m.seconds)),
+		dials:   make([][]uint32, len(m.seconds)),
+	}
 	m.classes = make([]groupTotals, len(j.Classes))
 	m.tenants = make([]groupTotals, len(j.Tenants))
 	m.allowances = make([]tokenBucket, len(j.Tenants))
@@ -166,7 +173,8 @@
 		if !onTime {
 			earned *= c.LateWeight
 		}
-		_ = m.latencies[s.Class].RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond))) // up to a minute, which the histogram holds
+		// up to a minute, which the histogram holds
+		_ = m.latencies[s.Class].RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond)))
 	} else if took > c.LatencyObjective {
 		m.lateFailures += weight
 	}
@@ -214,7 +222,8 @@
 		b.unserved++
 	}
 	if s.Outcome == simclient.Served {
-		_ = b.latencies.RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond))) // up to a minute, which the histogram holds
+		// up to a minute, which the histogram holds
+		_ = b.latencies.RecordValue(min(max(10, took), int64(time.Minute/time.Microsecond)))
 	}
 	b.rejectedRequests += int64(s.Rejected)
 	b.failedRequests += int64(s.Failed + s.Unanswered)
@@ -223,7 +232,8 @@
 	m.requests.lost += int64(s.Unanswered)
 	m.Costs.OfferedWork += float64(s.Work)
 	var text [64]byte
-	for i, v := range [...]uint64{s.ID, uint64(s.Outcome), uint64(s.EndedAt), uint64(s.Requests), uint64(s.Executions), uint64(s.Effects), uint64(s.Rejected), uint64(s.Failed)} {
+	for i, v := range [...]uint64{s.ID, uint64(s.Outcome), uint64(s.EndedAt), uint64(s.Requests),
+		uint64(s.Executions), uint64(s.Effects), uint64(s.Rejected), uint64(s.Failed)} {
 		binary.LittleEndian.PutUint64(text[8*i:], v)
 	}
 	m.digest.Write(text[:])
@@ -242,8 +252,12 @@
 	return w.earned / w.offered
 }
 
-// RecordMaintenance tells what came of machines that were asked to go out for work: how many of them are back, how many requests reached one while it
-// was at work, and how long all took; 0 is that not all are back.
+// RecordMaintenance tells what came of machines that were asked to go out for work: how many of them are back, how many
+// requests reached one while it was at work, and how long all took; 0 is that not all are back.
 func (m *Meter) RecordMaintenance(requested, returned, sent int, took monotime.Micros) {
-	m.maintenance = map[string]float64{"work_sent": float64(sent), "work_left": float64(requested - returned), "work_took": float64(took) / float64(second)}
+	m.maintenance = map[string]float64{
+		"work_sent": float64(sent),
+		"work_left": float64(requested - returned),
+		"work_took": float64(took) / float64(second),
+	}
 }
--- a/internal/simulation/measure/priorityaudit.go
+++ b/internal/simulation/measure/priorityaudit.go
@@ -45,8 +45,9 @@
 }
 
 // figures adds how much was served of what could have been, and how far the order was kept. In each second at best the
-// classes of most worth for their work are served as far as the endpoints' work goes. Out of order is, in a second, what was
-// not served of the better classes while worse ones were, at the division into better and worse at which that is most.
+// classes of most worth for their work are served as far as the endpoints' work goes. Out of order is, in a second,
+// what was not served of the better classes while worse ones were, at the division into better and worse at which that
+// is most.
 func (x *priorityAudit) figures(f map[string]float64, earned float64) {
 	f["of_could"] = 1
 	f["out_of_order"] = 0
--- a/internal/simulation/measure/quotaspending.go
+++ b/internal/simulation/measure/quotaspending.go
@@ -55,7 +55,8 @@
 // useFrom is how many times its limit a tenant must ask for in a second for all of it to be wanted.
 const contendedDemand = 1.2
 
-// PeakSecond returns how many of instants in order lie within any second, and how many of them came beyond a limit of a second.
+// PeakSecond returns how many of instants in order lie within any second, and how many of them came beyond a limit of a
+// second.
 func PeakSecond(at []monotime.Micros, limit float64) (worst, beyond int) {
 	from := 0
 	for i, v := range at {
--- a/internal/simulation/measure/result.go
+++ b/internal/simulation/measure/result.go
@@ -50,9 +50,10 @@
 	Name        string  `json:"Name"`
 	Zone        int     `json:"Zone"`
 	Executions  int64   `json:"Runs"`
-	Utilization float64 `json:"Worked"`         // of its core time, 0 to 1
-	MaxInFlight int     `json:"Most"`           // requests held at once, at most
-	Arrivals    []int64 `json:"Line,omitempty"` // requests that came, in each bin of the series; nil where there are many endpoints
+	Utilization float64 `json:"Worked"` // of its core time, 0 to 1
+	MaxInFlight int     `json:"Most"`   // requests held at once, at most
+	// requests that came, in each bin of the series; nil where there are many endpoints
+	Arrivals []int64 `json:"Line,omitempty"`
 }
 
 // ClassLatency is how long a class's stories took that were served: pairs of a part of them and milliseconds.
@@ -66,7 +67,13 @@
 
 // Result sums up.
 func (m *Meter) Result() *Result {
-	r := &Result{Figures: map[string]float64{}, Costs: m.Costs, Operations: m.operations, Served: m.outcomes[simclient.Served], Digest: hex(m.digest.Sum64())}
+	r := &Result{
+		Figures:    map[string]float64{},
+		Costs:      m.Costs,
+		Operations: m.operations,
+		Served:     m.outcomes[simclient.Served],
+		Digest:     hex(m.digest.Sum64()),
+	}
 	f := r.Figures
 	c := &m.Costs
 	n := math.Max(1, float64(m.operations))
@@ -126,7 +133,8 @@
 	if weights <= 0 {
 		f["service"] = f["whole"]
 	} else {
-		f["service"] = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] + g.WorstTenant*f["worst_tenant"]) / weights
+		f["service"] = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] +
+			g.WorstTenant*f["worst_tenant"]) / weights
 	}
 	f["service"] -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
 	r.Series = m.series()
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -23,9 +23,16 @@
 
 func newNetwork(p *scenario.Plan) network {
 	n := &p.Network
-	return network{plan: p, stream: randstream.New(p.Seed, "network"), jitter: n.Jitter, loss: n.Loss, retransmitAfter: float64(n.Retransmit.Micros()),
-		meanDelay:       [3]float64{float64(n.Client.Micros()), float64(n.Within.Micros()), float64(n.Between.Micros())},
-		schedulingSlack: float64(p.Host.Slack.Micros())}
+	return network{
+		plan:            p,
+		stream:          randstream.New(p.Seed, "network"),
+		jitter:          n.Jitter,
+		loss:            n.Loss,
+		retransmitAfter: float64(n.Retransmit.Micros()),
+		meanDelay: [3]float64{float64(n.Client.Micros()), float64(n.Within.Micros()),
+			float64(n.Between.Micros())},
+		schedulingSlack: float64(p.Host.Slack.Micros()),
+	}
 }
 
 // delay draws how long one message takes.
--- a/internal/simulation/operation.go
+++ b/internal/simulation/operation.go
@@ -120,7 +120,8 @@
 		return
 	}
 	r := t.operation.run
-	if r.now >= t.Deadline && t.submitted && t.incarnation == t.instance.incarnation && !t.responded && t.instance.frozenUntil < t.sentAt {
+	if r.now >= t.Deadline && t.submitted && t.incarnation == t.instance.incarnation && !t.responded &&
+		t.instance.frozenUntil < t.sentAt {
 		r.meter.Costs.LateResponses++ // a running instance that took it owed an answer by now
 	}
 	r.trace(t, -1, "", "leaves")
@@ -161,6 +162,14 @@
 
 func (r *run) trace(t *clientRequest, attempt int, node, what string) {
 	if r.options.Trace != nil {
-		r.options.Trace(Trace{At: r.now, Operation: t.operation.ID, Request: t.Number, Instance: t.instance.index, Attempt: attempt, Endpoint: node, Step: what})
+		r.options.Trace(Trace{
+			At:        r.now,
+			Operation: t.operation.ID,
+			Request:   t.Number,
+			Instance:  t.instance.index,
+			Attempt:   attempt,
+			Endpoint:  node,
+			Step:      what,
+		})
 	}
 }
--- a/internal/simulation/probe.go
+++ b/internal/simulation/probe.go
@@ -25,7 +25,15 @@
 func newProbe(in *instance, e *engine.Endpoint) {
 	r := in.run
 	in.probes++
-	p := &probe{instance: in, engineEndpoint: e, endpoint: e.Target.(upstreamTarget).endpoint, pool: in.pool, incarnation: in.incarnation, number: in.probes, sentAt: in.localTime()}
+	p := &probe{
+		instance:       in,
+		engineEndpoint: e,
+		endpoint:       e.Target.(upstreamTarget).endpoint,
+		pool:           in.pool,
+		incarnation:    in.incarnation,
+		number:         in.probes,
+		sentAt:         in.localTime(),
+	}
 	if p.endpoint.unreachable || r.dialBlocked(in, p.endpoint) {
 		p.reply.Status = balancer.Timeout
 		r.events.push(r.now+probeTimeout, probeReplied, 0, p)
@@ -36,7 +44,8 @@
 
 func (p *probe) delay(what uint64) monotime.Micros {
 	r := p.instance.run
-	return r.network.endpointDelay(p.instance.zone, p.endpoint.zone(), uint64(p.instance.index)|1<<63, p.number, what) + r.plan.ExtraDelay(r.now, p.instance.index, p.endpoint.index)
+	return r.network.endpointDelay(p.instance.zone, p.endpoint.zone(), uint64(p.instance.index)|1<<63, p.number,
+		what) + r.plan.ExtraDelay(r.now, p.instance.index, p.endpoint.index)
 }
 
 func (p *probe) arriveAtEndpoint() {
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -32,9 +32,21 @@
 		tenant = uint16(r.settingsTenant[s.Tenant])
 	}
 	// What is told is how long the client waits from when it sent the request; the way here is not known.
-	t.call = engine.Call{Client: in.clients[s.Process], Pool: in.pool, ID: fmt.Sprintf("%x-%d", s.ID, t.Number), ArrivedAt: now, HostData: t,
-		Request: balancer.Request{Class: uint8(r.settingsClass[s.Class]), Tenant: tenant, Retry: t.Retry, IdempotencyKey: s.Object, Write: s.class.Idempotency != balancer.Idempotent,
-			Deadline: now + (t.Deadline-t.sentAt)/1000*1000 - siteconfig.ResponseMargin.Microseconds()}}
+	t.call = engine.Call{
+		Client:    in.clients[s.Process],
+		Pool:      in.pool,
+		ID:        fmt.Sprintf("%x-%d", s.ID, t.Number),
+		ArrivedAt: now,
+		HostData:  t,
+		Request: balancer.Request{
+			Class:          uint8(r.settingsClass[s.Class]),
+			Tenant:         tenant,
+			Retry:          t.Retry,
+			IdempotencyKey: s.Object,
+			Write:          s.class.Idempotency != balancer.Idempotent,
+			Deadline:       now + (t.Deadline-t.sentAt)/1000*1000 - siteconfig.ResponseMargin.Microseconds(),
+		},
+	}
 	r.meter.Costs.Decisions++
 	in.engine.Submit(now, &t.call)
 	in.advanceEngine()
@@ -95,8 +107,21 @@
 	}
 	s := t.operation
 	arrived := t.call.ArrivedAt
-	tell(&RequestRecord{Instance: in.index, Process: s.Process, Operation: s.ID, Class: s.Class, Tenant: s.Tenant, IdempotencyKey: t.IdempotencyKey, Object: s.Object, Retry: t.Retry, Arrived: arrived,
-		Duration: in.localTime() - arrived, Timeout: t.call.Request.Deadline - arrived, ClientGone: left, Response: t.response})
+	tell(&RequestRecord{
+		Instance:       in.index,
+		Process:        s.Process,
+		Operation:      s.ID,
+		Class:          s.Class,
+		Tenant:         s.Tenant,
+		IdempotencyKey: t.IdempotencyKey,
+		Object:         s.Object,
+		Retry:          t.Retry,
+		Arrived:        arrived,
+		Duration:       in.localTime() - arrived,
+		Timeout:        t.call.Request.Deadline - arrived,
+		ClientGone:     left,
+		Response:       t.response,
+	})
 }
 
 // left tells the engine that a client has gone.
--- a/internal/simulation/scenario/capacity.go
+++ b/internal/simulation/scenario/capacity.go
@@ -9,9 +9,10 @@
 // idealStep is how finely Ideal looks.
 const servableStep = second / 4
 
-// MaxServableShare estimates the part of the plan's stories that what is left of the endpoints could serve at best: in each moment as
-// much as is asked for, or as the endpoints that are up and known to be can do, each at the speed that it has then. Nobody
-// knows in advance what this takes as known, and stories do not come evenly: it is a bound, not an aim.
+// MaxServableShare estimates the part of the plan's stories that what is left of the endpoints could serve at best: in
+// each moment as much as is asked for, or as the endpoints that are up and known to be can do, each at the speed that
+// it has then. Nobody knows in advance what this takes as known, and stories do not come evenly: it is a bound, not an
+// aim.
 func (p *Plan) MaxServableShare() float64 {
 	var asked, could float64
 	backlog := 0.0
--- a/internal/simulation/scenario/check.go
+++ b/internal/simulation/scenario/check.go
@@ -64,13 +64,16 @@
 		checkRange(k, at("speed"), n.Speed, 0.001, 1000)
 		k.Require(n.Queue >= 0, at("queue"), "%d is negative", n.Queue)
 		k.Require(n.WarmupFrom > 0 && n.WarmupFrom <= 1, at("cold_from"), "%v: must be in 0..1, not 0", n.WarmupFrom)
-		k.Require(n.CollapseLoad == 0 || n.CollapseLoad >= 1, at("fall"), "%v: must be at least 1, or 0 for never", n.CollapseLoad)
+		k.Require(n.CollapseLoad == 0 || n.CollapseLoad >= 1, at("fall"), "%v: must be at least 1, or 0 for never",
+			n.CollapseLoad)
 		k.Require(n.CollapseLoad == 0 || n.CollapseWindow.Duration > 0, at("fall_after"), "is missing")
 		stricttoml.Enum(k, at("cancel"), n.Cancel, map[string]bool{"none": true, "queued": true, "all": true})
 		k.Require(n.Errors >= 0 && n.Errors < 1, at("errors"), "%v: must be in 0..1, not 1", n.Errors)
-		k.Require(n.ContentionLoss >= 0 && n.ContentionLoss < 1, at("crowd"), "%v: must be in 0..1, not 1", n.ContentionLoss)
+		k.Require(n.ContentionLoss >= 0 && n.ContentionLoss < 1, at("crowd"), "%v: must be in 0..1, not 1",
+			n.ContentionLoss)
 		k.Require(n.ContentionLoss == 0 || n.ContentionThreshold > 0, at("crowd_at"), "is missing")
-		k.Require(n.PauseFor.Duration == 0 || n.PauseEvery.Duration > n.PauseFor.Duration, at("pause_every"), "%v is not over pause_for, %v", n.PauseEvery, n.PauseFor)
+		k.Require(n.PauseFor.Duration == 0 || n.PauseEvery.Duration > n.PauseFor.Duration, at("pause_every"),
+			"%v is not over pause_for, %v", n.PauseEvery, n.PauseFor)
 		k.Require(n.Conns >= 0, at("connections"), "%d is negative", n.Conns)
 		k.Require(n.Cell >= 1, at("cell"), "%d: must be at least 1", n.Cell)
 		k.Require(n.Noise >= 0 && n.Noise <= 1, at("report_noise"), "%v: must be in 0..1", n.Noise)
@@ -102,14 +105,20 @@
 		k.Require(t.Share >= 0 && !math.IsInf(t.Share, 0), at("share"), "%v: must not be negative", t.Share)
 	}
 	c := &s.Clients
-	k.Require((c.Load > 0) != (c.Rate > 0) || s.Replay != nil, "clients.load", "one of load and rate must be given, and positive")
+	k.Require((c.Load > 0) != (c.Rate > 0) || s.Replay != nil, "clients.load",
+		"one of load and rate must be given, and positive")
 	k.Require(c.Load >= 0 && c.Load <= 100, "clients.load", "%v: must be in 0..100", c.Load)
 	k.Require(c.Rate >= 0 && c.Rate <= 1e7, "clients.rate", "%v: must be in 0..10000000", c.Rate)
 	k.Require(c.Processes >= 1, "clients.processes", "%d: must be at least 1", c.Processes)
-	k.Require(c.Retries[0] >= 0 && c.Retries[1] >= c.Retries[0] && c.Retries[1] <= 20, "clients.retries", "%v: must be two numbers in order, 0..20", c.Retries)
+	k.Require(c.Retries[0] >= 0 && c.Retries[1] >= c.Retries[0] && c.Retries[1] <= 20, "clients.retries",
+		"%v: must be two numbers in order, 0..20", c.Retries)
 	checkRange(k, "clients.try_share", c.TimeoutShare, 0.01, 1)
 	k.Require(len(c.TimeoutShare) > 0, "clients.try_share", "is missing")
-	for key, v := range map[string]float64{"honour_retry_after": c.HonorRetryAfter, "impatient": c.EarlyAbort, "fresh_keys": c.FreshKeys} {
+	for key, v := range map[string]float64{
+		"honour_retry_after": c.HonorRetryAfter,
+		"impatient":          c.EarlyAbort,
+		"fresh_keys":         c.FreshKeys,
+	} {
 		k.Require(v >= 0 && v <= 1, "clients."+key, "%v: must be in 0..1", v)
 	}
 	k.Require(c.Objects >= 1, "clients.objects", "%d: must be at least 1", c.Objects)
@@ -128,14 +137,21 @@
 		return
 	}
 	k.Require(e.At != nil, at("at"), "is missing")
-	k.Require((e.Delay != nil) == (e.What == "late-reports" || e.What == "late-words" || e.What == "stale" || e.What == "lag" || e.What == "work"), at("delay"), "is for late-reports, late-words, stale, lag and work, and needed there")
+	k.Require((e.Delay != nil) == (e.What == "late-reports" || e.What == "late-words" || e.What == "stale" ||
+		e.What == "lag" || e.What == "work"), at("delay"),
+		"is for late-reports, late-words, stale, lag and work, and needed there")
 	k.Require(e.At == nil || e.At.From < s.Length.Duration, at("at"), "it is after the end, %v", s.Length)
 	k.Require(e.Zone == "" || slices.Contains(s.Fleet.Zones, e.Zone), at("zone"), "%q is none of fleet.zones", e.Zone)
 	k.Require(e.To == "" || slices.Contains(s.Fleet.Zones, e.To), at("to"), "%q is none of fleet.zones", e.To)
-	k.Require(e.Kind == "" || slices.ContainsFunc(s.EndpointKinds, func(n EndpointKind) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
-	k.Require(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }), at("class"), "%q is none of the classes", e.Class)
-	k.Require(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }), at("tenant"), "%q is none of the tenants", e.Tenant)
-	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" || e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade" || e.What == "limits"
+	k.Require(e.Kind == "" || slices.ContainsFunc(s.EndpointKinds,
+		func(n EndpointKind) bool { return n.Kind == e.Kind }), at("kind"), "%q is none of the kinds of nodes", e.Kind)
+	k.Require(e.Class == "" || slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == e.Class }),
+		at("class"), "%q is none of the classes", e.Class)
+	k.Require(e.Tenant == "" || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Name == e.Tenant }),
+		at("tenant"), "%q is none of the tenants", e.Tenant)
+	ofInstances := e.What == "restart" || e.What == "freeze" || e.What == "deaf" || e.What == "sever" ||
+		e.What == "lag" || e.What == "surge" || e.What == "part" || e.What == "late-words" || e.What == "upgrade" ||
+		e.What == "limits"
 	k.Require(ofInstances || len(e.Instances) == 0, at("instances"), "%q does not happen to instances", e.What)
 	checkRange(k, at("instances"), e.Instances, 0, 1)
 	k.Require(ofInstances || len(e.Named) == 0, at("named"), "%q does not happen to instances", e.What)
@@ -169,10 +185,12 @@
 	k.Require(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
 	k.Require(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
 	k.Require(!e.One || e.What == "surge", at("one"), "is for surge only")
-	k.Require(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" || e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
+	k.Require(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" ||
+		e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
 	k.Require(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
 	k.Require(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
-	k.Require(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil, at("for"), "is missing")
+	k.Require(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil,
+		at("for"), "is missing")
 }
 
 func sizeText(size string) string {
--- a/internal/simulation/scenario/draw.go
+++ b/internal/simulation/scenario/draw.go
@@ -34,7 +34,11 @@
 
 func (p *Plan) drawEndpoints() {
 	stream := randstream.New(p.Seed, "nodes")
-	cancels := map[string]simendpoint.Cancellation{"none": simendpoint.CancelNone, "queued": simendpoint.CancelQueued, "all": simendpoint.CancelAll}
+	cancels := map[string]simendpoint.Cancellation{
+		"none":   simendpoint.CancelNone,
+		"queued": simendpoint.CancelQueued,
+		"all":    simendpoint.CancelAll,
+	}
 	for kind, n := range p.Scenario.EndpointKinds {
 		var zones []int
 		for i, z := range p.Fleet.Zones {
@@ -44,12 +48,35 @@
 		}
 		for i := range n.Count {
 			r := stream.For(uint64(kind), uint64(i))
-			c := simendpoint.Config{Cores: n.Cores, Speed: randstream.Range(r, n.Speed.ends(1)), QueueCapacity: n.Queue, WarmupFrom: n.WarmupFrom,
-				WarmupDuration: n.WarmupDuration.Micros(), CollapseLoad: n.CollapseLoad, CollapseWindow: n.CollapseWindow.Micros(), Cancellation: cancels[n.Cancel], ErrorRate: n.Errors,
-				ContentionThreshold: n.ContentionThreshold, ContentionLoss: n.ContentionLoss, ProbeWork: n.ProbeWork.Micros(), HandshakeWork: n.Handshake.Micros(), MaxConnections: n.Conns,
-				ReportInterval: n.Report.Micros(), ReportNoise: n.Noise}
-			p.Endpoints = append(p.Endpoints, Endpoint{Name: fmt.Sprintf("%s-%d", n.Kind, i), Kind: kind, Zone: zones[i%len(zones)],
-				Cell: kind<<16 | i/n.Cell, StartsWithRun: n.StartsWithRun, Config: c, Idle: n.Idle.Micros(), PauseEvery: n.PauseEvery.Micros(), PauseFor: n.PauseFor.Micros()})
+			c := simendpoint.Config{
+				Cores:               n.Cores,
+				Speed:               randstream.Range(r, n.Speed.ends(1)),
+				QueueCapacity:       n.Queue,
+				WarmupFrom:          n.WarmupFrom,
+				WarmupDuration:      n.WarmupDuration.Micros(),
+				CollapseLoad:        n.CollapseLoad,
+				CollapseWindow:      n.CollapseWindow.Micros(),
+				Cancellation:        cancels[n.Cancel],
+				ErrorRate:           n.Errors,
+				ContentionThreshold: n.ContentionThreshold,
+				ContentionLoss:      n.ContentionLoss,
+				ProbeWork:           n.ProbeWork.Micros(),
+				HandshakeWork:       n.Handshake.Micros(),
+				MaxConnections:      n.Conns,
+				ReportInterval:      n.Report.Micros(),
+				ReportNoise:         n.Noise,
+			}
+			p.Endpoints = append(p.Endpoints, Endpoint{
+				Name:          fmt.Sprintf("%s-%d", n.Kind, i),
+				Kind:          kind,
+				Zone:          zones[i%len(zones)],
+				Cell:          kind<<16 | i/n.Cell,
+				StartsWithRun: n.StartsWithRun,
+				Config:        c,
+				Idle:          n.Idle.Micros(),
+				PauseEvery:    n.PauseEvery.Micros(),
+				PauseFor:      n.PauseFor.Micros(),
+			})
 			p.Capacity += c.Speed * float64(c.Cores)
 		}
 	}
@@ -70,8 +97,12 @@
 	zones := len(p.Fleet.Zones)
 	for i := range p.Fleet.Instances {
 		r := stream.For(uint64(i))
-		in := Instance{Zone: i % zones, Share: randstream.LogNormal(r, 1, p.Fleet.Uneven), Skew: monotime.Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
-			Drift: (2*r.Float64() - 1) * p.Clocks.Drift}
+		in := Instance{
+			Zone:  i % zones,
+			Share: randstream.LogNormal(r, 1, p.Fleet.Uneven),
+			Skew:  monotime.Micros((2*r.Float64() - 1) * float64(p.Clocks.Skew.Micros())),
+			Drift: (2*r.Float64() - 1) * p.Clocks.Drift,
+		}
 		if in.Zone == 0 {
 			in.Share *= 1 + p.Fleet.ZoneSkew*float64(zones-1)
 		} else {
@@ -108,7 +139,8 @@
 func (p *Plan) chooseEndpoints(e *Event, r *rand.Rand) []int {
 	var from []int
 	for i, n := range p.Endpoints {
-		if (e.Zone == "" || p.Fleet.Zones[n.Zone] == e.Zone) && (e.Kind == "" || p.Scenario.EndpointKinds[n.Kind].Kind == e.Kind) {
+		if (e.Zone == "" || p.Fleet.Zones[n.Zone] == e.Zone) &&
+			(e.Kind == "" || p.Scenario.EndpointKinds[n.Kind].Kind == e.Kind) {
 			from = append(from, i)
 		}
 	}
@@ -154,8 +186,18 @@
 	for i := range p.Events {
 		e := &p.Events[i]
 		r := stream.For(uint64(i))
-		h := PlannedEvent{What: e.What, At: monotime.Micros(randstream.Range(r, ends(e.At))), Until: math.MaxInt64, Class: -1, Tenant: -1, Zone: -1, To: -1, OneClient: e.One,
-			Every: e.Every.Micros(), Delay: monotime.Micros(randstream.Range(r, ends(e.Delay)))}
+		h := PlannedEvent{
+			What:      e.What,
+			At:        monotime.Micros(randstream.Range(r, ends(e.At))),
+			Until:     math.MaxInt64,
+			Class:     -1,
+			Tenant:    -1,
+			Zone:      -1,
+			To:        -1,
+			OneClient: e.One,
+			Every:     e.Every.Micros(),
+			Delay:     monotime.Micros(randstream.Range(r, ends(e.Delay))),
+		}
 		if e.For != nil {
 			h.Until = h.At + monotime.Micros(randstream.Range(r, ends(e.For)))
 		}
--- a/internal/simulation/scenario/operations.go
+++ b/internal/simulation/scenario/operations.go
@@ -20,7 +20,10 @@
 	if len(p.Shape) == 0 {
 		return 1
 	}
-	i, _ := slices.BinarySearchFunc(p.Shape, at, func(s RatePoint, at monotime.Micros) int { return cmp.Compare(s.At.Micros(), at) })
+	i, _ := slices.BinarySearchFunc(p.Shape, at, func(s RatePoint,
+		at monotime.Micros) int {
+		return cmp.Compare(s.At.Micros(), at)
+	})
 	switch {
 	case i == 0:
 		return p.Shape[0].Factor
@@ -33,13 +36,14 @@
 	return a.Factor + (b.Factor-a.Factor)*part
 }
 
-// surge is how many times the traffic of an instance, a class, a tenant and a client process is at an instant, beside the
-// shape.
+// surge is how many times the traffic of an instance, a class, a tenant and a client process is at an instant, beside
+// the shape.
 func (p *Plan) surge(at monotime.Micros, instance, class, tenant, process int) float64 {
 	v := 1.0
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
-		if h.What == "surge" && at >= h.At && at < h.Until && contains(h.Instances, instance) && (h.Class < 0 || h.Class == class) &&
+		if h.What == "surge" && at >= h.At && at < h.Until && contains(h.Instances, instance) &&
+			(h.Class < 0 || h.Class == class) &&
 			(h.Tenant < 0 || h.Tenant == tenant) && (!h.OneClient || process == 0) {
 			v *= h.Sizes[0]
 		}
@@ -120,8 +124,8 @@
 	arrivals := randstream.New(p.Seed, "arrivals").Source(uint64(instance))
 	stories := randstream.New(p.Seed, "stories")
 	kinds := p.operationMix(instance)
-	// Thinning (Lewis, Shedler: "Simulation of nonhomogeneous Poisson processes by thinning", 1979): the rate is drawn at
-	// its height, and a part of the arrivals taken.
+	// Thinning (Lewis, Shedler: "Simulation of nonhomogeneous Poisson processes by thinning", 1979): the rate is drawn
+	// at its height, and a part of the arrivals taken.
 	most := 0.0
 	for _, s := range p.Shape {
 		most = max(most, s.Factor)
@@ -154,7 +158,13 @@
 			id := uint64(instance)<<32 | n
 			n++
 			r := stories.For(id)
-			s := simclient.Operation{ID: id, Instance: instance, StartedAt: monotime.Micros(at), Tenant: -1, Object: r.Uint64N(uint64(p.Clients.Objects))}
+			s := simclient.Operation{
+				ID:        id,
+				Instance:  instance,
+				StartedAt: monotime.Micros(at),
+				Tenant:    -1,
+				Object:    r.Uint64N(uint64(p.Clients.Objects)),
+			}
 			var tenant int
 			s.Class, tenant, s.Process = kinds.pick(r)
 			if len(p.Tenants) > 0 {
--- a/internal/simulation/scenario/parse.go
+++ b/internal/simulation/scenario/parse.go
@@ -19,14 +19,31 @@
 // defaults are what a file that says nothing means: a small calm site.
 func defaults() Scenario {
 	return Scenario{
-		Length:  length(30 * time.Second),
-		Fleet:   Fleet{Instances: 3},
-		Network: Network{Client: length(70 * time.Microsecond), Within: length(250 * time.Microsecond), Between: length(time.Millisecond), Jitter: 0.2, Retransmit: length(200 * time.Millisecond)},
-		Host:    Host{Overhead: length(100 * time.Microsecond), Slack: length(50 * time.Microsecond)},
-		Discovery: Discovery{Add: span(500*time.Millisecond, 2*time.Second), Drain: span(100*time.Millisecond, 500*time.Millisecond),
-			Gone: span(2*time.Second, 5*time.Second), Silent: span(5*time.Second, 10*time.Second), Spread: length(100 * time.Millisecond)},
-		Clients: Clients{Processes: 4, Retries: [2]int{1, 2}, TimeoutShare: Range{0.5, 0.8}, Backoff: span(10*time.Millisecond, 80*time.Millisecond),
-			HonorRetryAfter: 0.9, Objects: 10_000},
+		Length: length(30 * time.Second),
+		Fleet:  Fleet{Instances: 3},
+		Network: Network{
+			Client:     length(70 * time.Microsecond),
+			Within:     length(250 * time.Microsecond),
+			Between:    length(time.Millisecond),
+			Jitter:     0.2,
+			Retransmit: length(200 * time.Millisecond),
+		},
+		Host: Host{Overhead: length(100 * time.Microsecond), Slack: length(50 * time.Microsecond)},
+		Discovery: Discovery{
+			Add:    span(500*time.Millisecond, 2*time.Second),
+			Drain:  span(100*time.Millisecond, 500*time.Millisecond),
+			Gone:   span(2*time.Second, 5*time.Second),
+			Silent: span(5*time.Second, 10*time.Second),
+			Spread: length(100 * time.Millisecond),
+		},
+		Clients: Clients{
+			Processes:       4,
+			Retries:         [2]int{1, 2},
+			TimeoutShare:    Range{0.5, 0.8},
+			Backoff:         span(10*time.Millisecond, 80*time.Millisecond),
+			HonorRetryAfter: 0.9,
+			Objects:         10_000,
+		},
 	}
 }
 
@@ -79,8 +96,10 @@
 	for _, list := range []struct {
 		key   string
 		clear func()
-	}{{"nodes", func() { s.EndpointKinds = nil }}, {"class", func() { s.Classes = nil }}, {"tenant", func() { s.Tenants = nil }},
-		{"shape", func() { s.Shape = nil }}, {"event", func() { s.Events = nil }}, {"fleet.zones", func() { s.Fleet.Zones = nil }}} {
+	}{{"nodes", func() { s.EndpointKinds = nil }}, {"class", func() { s.Classes = nil }},
+		{"tenant", func() { s.Tenants = nil }},
+		{"shape", func() { s.Shape = nil }}, {"event", func() { s.Events = nil }}, {"fleet.zones",
+			func() { s.Fleet.Zones = nil }}} {
 		if lines[list.key] > 0 || lines[list.key+".0"] > 0 {
 			list.clear()
 		}
@@ -124,7 +143,8 @@
 	c.EndpointKinds = slices.Clone(s.EndpointKinds)
 	c.Classes = slices.Clone(s.Classes)
 	c.Tenants = slices.Clone(s.Tenants)
-	for _, at := range []**stricttoml.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain, &c.Discovery.Gone, &c.Discovery.Silent} {
+	for _, at := range []**stricttoml.Span{&c.Clients.Backoff, &c.Discovery.Add, &c.Discovery.Drain,
+		&c.Discovery.Gone, &c.Discovery.Silent} {
 		own := **at
 		*at = &own
 	}
--- a/internal/simulation/scenario/plan.go
+++ b/internal/simulation/scenario/plan.go
@@ -57,8 +57,15 @@
 func (p *Plan) ClientBehavior() simclient.Behavior {
 	c := &p.Clients
 	backoff := ends(c.Backoff)
-	return simclient.Behavior{Retries: c.Retries, TimeoutShare: c.TimeoutShare.ends(1), Backoff: [2]monotime.Micros{monotime.Micros(backoff[0]), monotime.Micros(backoff[1])},
-		HonorRetryAfter: c.HonorRetryAfter, EarlyAbort: c.EarlyAbort, MarkRetries: c.MarkRetries, FreshKeys: c.FreshKeys}
+	return simclient.Behavior{
+		Retries:         c.Retries,
+		TimeoutShare:    c.TimeoutShare.ends(1),
+		Backoff:         [2]monotime.Micros{monotime.Micros(backoff[0]), monotime.Micros(backoff[1])},
+		HonorRetryAfter: c.HonorRetryAfter,
+		EarlyAbort:      c.EarlyAbort,
+		MarkRetries:     c.MarkRetries,
+		FreshKeys:       c.FreshKeys,
+	}
 }
 
 // has says whether a sorted list has a number.
--- a/internal/simulation/scenario/plannedevent.go
+++ b/internal/simulation/scenario/plannedevent.go
@@ -73,8 +73,8 @@
 	return 1
 }
 
-// MessageDelay is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are three numbers in 0..1
-// of the word's own.
+// MessageDelay is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are
+// three numbers in 0..1 of the word's own.
 func (p *Plan) MessageDelay(now monotime.Micros, from int, draws [3]float64) (more monotime.Micros, twice bool) {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
@@ -91,15 +91,16 @@
 // ExtraDelay is by how much longer each message between an instance and an endpoint takes at an instant.
 func (p *Plan) ExtraDelay(now monotime.Micros, instance, node int) (more monotime.Micros) {
 	for i := range p.PlannedEvents {
-		if h := &p.PlannedEvents[i]; h.What == "lag" && now >= h.At && now < h.Until && contains(h.Instances, instance) && contains(h.Endpoints, node) {
+		if h := &p.PlannedEvents[i]; h.What == "lag" && now >= h.At && now < h.Until &&
+			contains(h.Instances, instance) && contains(h.Endpoints, node) {
 			more += h.Delay
 		}
 	}
 	return more
 }
 
-// AddCondition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of the
-// scenario's classes has at endpoints.
+// AddCondition adds what goes wrong at the k-th of its endpoints at an instant. classOf tells the number that each of
+// the scenario's classes has at endpoints.
 func (h *PlannedEvent) AddCondition(c *simendpoint.Condition, now monotime.Micros, k int, classOf []int) {
 	size := h.Sizes[k]
 	switch h.What {
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -1,8 +1,8 @@
 // Package scenario reads what a fleet is tried on: endpoints, instances, zones between them, clients and their traffic,
-// discovery, and what goes wrong when. A file is TOML, read strictly; drawn with a seed it becomes a Plan, in which nothing
-// is left to chance but what package randstream draws for each request. A plan depends on nothing that is tried on it: two
-// variants of a fleet are given the same one. It knows nothing of how a plan is played, which package simulation and package
-// live do.
+// discovery, and what goes wrong when. A file is TOML, read strictly; drawn with a seed it becomes a Plan, in which
+// nothing is left to chance but what package randstream draws for each request. A plan depends on nothing that is tried
+// on it: two variants of a fleet are given the same one. It knows nothing of how a plan is played, which package
+// simulation and package live do.
 package scenario
 
 import (
@@ -11,8 +11,9 @@
 
 // Scenario is what a file says.
 type Scenario struct {
-	Name   string              `toml:"name"`
-	Base   string              `toml:"base,omitempty"` // another scenario, from which everything comes that is not said here
+	Name string `toml:"name"`
+	// another scenario, from which everything comes that is not said here
+	Base   string              `toml:"base,omitempty"`
 	About  string              `toml:"about,omitempty"`
 	Length stricttoml.Duration `toml:"length"` // clients begin new stories for so long
 
@@ -28,17 +29,20 @@
 	Shape         []RatePoint    `toml:"shape,omitempty"`
 	Events        []Event        `toml:"event,omitempty"`
 	Replay        *Replay        `toml:"replay,omitempty"`
-	Settings      []string       `toml:"settings,omitempty"` // KEY=VALUE: edits to the settings by which its claims are judged
-	Expect        []string       `toml:"expect,omitempty"`   // claims that must hold of the shipped settings (package claim)
+	// KEY=VALUE: edits to the settings by which its claims are judged
+	Settings []string `toml:"settings,omitempty"`
+	// claims that must hold of the shipped settings (package claim)
+	Expect []string `toml:"expect,omitempty"`
 }
 
 // Fleet is the instances.
 type Fleet struct {
 	Zones     []string `toml:"zones"`
 	Instances int      `toml:"instances"`
-	Uneven    float64  `toml:"uneven,omitempty"`    // how unlike their traffic is: the coefficient of variation of their shares
-	ZoneSkew  float64  `toml:"zone_skew,omitempty"` // 0: the traffic of zones is alike; 1: all of it is the first one's
-	Subset    int      `toml:"subset,omitempty"`    // endpoints that an instance is told of; 0 is all
+	// how unlike their traffic is: the coefficient of variation of their shares
+	Uneven   float64 `toml:"uneven,omitempty"`
+	ZoneSkew float64 `toml:"zone_skew,omitempty"` // 0: the traffic of zones is alike; 1: all of it is the first one's
+	Subset   int     `toml:"subset,omitempty"`    // endpoints that an instance is told of; 0 is all
 }
 
 // Network is the way between clients, instances and endpoints.
@@ -74,17 +78,18 @@
 
 // EndpointKind are endpoints of one kind.
 type EndpointKind struct {
-	Kind                string              `toml:"kind,omitempty"`
-	Count               int                 `toml:"count,omitempty"`
-	Zones               []string            `toml:"zones,omitempty"` // over which they are spread; none is all
-	Cores               int                 `toml:"cores,omitempty"`
-	Speed               Range               `toml:"speed,omitempty"`
-	Queue               int                 `toml:"queue,omitempty"`
-	WarmupFrom          float64             `toml:"cold_from,omitempty"`
-	WarmupDuration      stricttoml.Duration `toml:"cold_for,omitempty"`
-	CollapseLoad        float64             `toml:"fall,omitempty"`
-	CollapseWindow      stricttoml.Duration `toml:"fall_after,omitempty"`
-	Cancel              string              `toml:"cancel,omitempty"` // what becomes of requests given up: "none", "queued" or "all" of them end
+	Kind           string              `toml:"kind,omitempty"`
+	Count          int                 `toml:"count,omitempty"`
+	Zones          []string            `toml:"zones,omitempty"` // over which they are spread; none is all
+	Cores          int                 `toml:"cores,omitempty"`
+	Speed          Range               `toml:"speed,omitempty"`
+	Queue          int                 `toml:"queue,omitempty"`
+	WarmupFrom     float64             `toml:"cold_from,omitempty"`
+	WarmupDuration stricttoml.Duration `toml:"cold_for,omitempty"`
+	CollapseLoad   float64             `toml:"fall,omitempty"`
+	CollapseWindow stricttoml.Duration `toml:"fall_after,omitempty"`
+	// what becomes of requests given up: "none", "queued" or "all" of them end
+	Cancel              string              `toml:"cancel,omitempty"`
 	Errors              float64             `toml:"errors,omitempty"`
 	ContentionThreshold float64             `toml:"crowd_at,omitempty"`
 	ContentionLoss      float64             `toml:"crowd,omitempty"`
@@ -94,10 +99,12 @@
 	Handshake           stricttoml.Duration `toml:"handshake,omitempty"`
 	Conns               int                 `toml:"connections,omitempty"`
 	Idle                stricttoml.Duration `toml:"idle,omitempty"`
-	Cell                int                 `toml:"cell,omitempty"` // endpoints of a group that drops repeats of a key together
-	Report              stricttoml.Duration `toml:"report_every,omitempty"`
-	Noise               float64             `toml:"report_noise,omitempty"`
-	StartsWithRun       bool                `toml:"cold,omitempty"` // they come up as the run begins; else they were always up
+	// endpoints of a group that drops repeats of a key together
+	Cell   int                 `toml:"cell,omitempty"`
+	Report stricttoml.Duration `toml:"report_every,omitempty"`
+	Noise  float64             `toml:"report_noise,omitempty"`
+	// they come up as the run begins; else they were always up
+	StartsWithRun bool `toml:"cold,omitempty"`
 }
 
 // Class is a kind of request, named as in the settings.
@@ -107,7 +114,8 @@
 	Work  stricttoml.Duration `toml:"work,omitempty"` // mean, on a core of speed 1
 	Dist  string              `toml:"dist,omitempty"` // "lognormal", "exponential" or "fixed"
 	CV    float64             `toml:"cv,omitempty"`
-	Noise float64             `toml:"noise,omitempty"` // of one attempt against another of the same request, as a coefficient of variation
+	// of one attempt against another of the same request, as a coefficient of variation
+	Noise float64 `toml:"noise,omitempty"`
 }
 
 // Tenant is whose request it is, named as in the settings.
@@ -131,13 +139,16 @@
 	Objects         int              `toml:"objects"` // that requests are about
 }
 
-// Replay has the stories of an access record (package accesslog) begin in place of those that are drawn. Their work is drawn
-// all the same, and their clients try again as this scenario says: a variant is not fed the retries that another caused.
+// Replay has the stories of an access record (package accesslog) begin in place of those that are drawn. Their work is
+// drawn all the same, and their clients try again as this scenario says: a variant is not fed the retries that another
+// caused.
 type Replay struct {
-	From   []string            `toml:"from"`             // folders, or single segments
-	Start  stricttoml.Duration `toml:"start,omitempty"`  // what came before is left out
-	Align  bool                `toml:"align,omitempty"`  // instances whose clocks were wrong are put together by the system's
-	Digest string              `toml:"digest,omitempty"` // of what is there; filled in, so that kept runs are of the same record
+	From  []string            `toml:"from"`            // folders, or single segments
+	Start stricttoml.Duration `toml:"start,omitempty"` // what came before is left out
+	// instances whose clocks were wrong are put together by the system's
+	Align bool `toml:"align,omitempty"`
+	// of what is there; filled in, so that kept runs are of the same record
+	Digest string `toml:"digest,omitempty"`
 }
 
 // RatePoint is how many times the traffic is at an instant; in between it changes evenly.
@@ -167,10 +178,11 @@
 	To     string              `toml:"to,omitempty"`     // cut: the other zone; none is all
 
 	// Which instances, of what happens to instances or on their ways: a part of those of the zone, all without it.
-	Instances Range  `toml:"instances,omitempty"`
-	Named     []int  `toml:"named,omitempty"`  // or these, by number
-	Others    []int  `toml:"others,omitempty"` // part: from these only
-	Way       string `toml:"way,omitempty"`    // sever: "to" the endpoints, "from" them; part: the instances; both without it
+	Instances Range `toml:"instances,omitempty"`
+	Named     []int `toml:"named,omitempty"`  // or these, by number
+	Others    []int `toml:"others,omitempty"` // part: from these only
+	// sever: "to" the endpoints, "from" them; part: the instances; both without it
+	Way string `toml:"way,omitempty"`
 }
 
 // Range is one number, or two between which one is drawn.
@@ -222,11 +234,14 @@
 	"restart":      {false, ""}, // instances are killed and begin anew, with what they had open lost
 	"freeze":       {false, ""}, // instances are stopped, and go on at its end with what they held
 	"deaf":         {false, ""}, // instances hear nothing of discovery, and all of it at its end
-	"late-words":   {false, ""}, // of what instances say every other word is late by up to delay, and one in ten comes twice
-	"upgrade":      {false, ""}, // another process takes over from an instance's while it serves
-	"work":         {true, ""},  // an operator has them taken out for work, delay each, in real runs of instances that settle the order
-	"liar":         {false, "times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody"},
-	"limits":       {false, "times the tenants' limits in the files of instances, read again while they serve"},
-	"part":         {false, ""}, // no word passes between instances and the others; every: on and off
-	"power":        {false, ""}, // all endpoints and instances begin anew at once
+	// of what instances say every other word is late by up to delay, and one in ten comes twice
+	"late-words": {false, ""},
+	"upgrade":    {false, ""}, // another process takes over from an instance's while it serves
+	// an operator has them taken out for work, delay each, in real runs of instances that settle the order
+	"work": {true, ""},
+	"liar": {false,
+		"times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody"},
+	"limits": {false, "times the tenants' limits in the files of instances, read again while they serve"},
+	"part":   {false, ""}, // no word passes between instances and the others; every: on and off
+	"power":  {false, ""}, // all endpoints and instances begin anew at once
 }
--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -65,10 +65,12 @@
 			t.Errorf("%q:\n got %v\nwant %s", text, err, want)
 		}
 	}
-	if _, err := Parse([]byte("base = \"calm\"\n"+least), none); err == nil || err.Error() != "line 1: base: there is none" {
+	if _, err := Parse([]byte("base = \"calm\"\n"+least), none); err == nil ||
+		err.Error() != "line 1: base: there is none" {
 		t.Errorf("a base that is not there: %v", err)
 	}
-	if _, err := Parse([]byte("base = \"a\"\n"+least), func(string) ([]byte, error) { return []byte("base = \"a\"\n" + least), nil }); err == nil {
+	if _, err := Parse([]byte("base = \"a\"\n"+least),
+		func(string) ([]byte, error) { return []byte("base = \"a\"\n" + least), nil }); err == nil {
 		t.Error("a scenario that is based on itself was taken")
 	}
 }
@@ -81,7 +83,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Name != "b" || s.Clients.Rate != 0 || s.Clients.Load != 0.5 || len(s.Events) != 1 || s.Events[0].What != "drain" || s.EndpointKinds[0].Count != 4 {
+	if s.Name != "b" || s.Clients.Rate != 0 || s.Clients.Load != 0.5 || len(s.Events) != 1 ||
+		s.Events[0].What != "drain" || s.EndpointKinds[0].Count != 4 {
 		t.Errorf("%+v", s)
 	}
 	text, err := s.Text()
@@ -92,7 +95,8 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, text)
 	}
-	if !reflect.DeepEqual(s.Draw(3), again.Draw(3)) && !reflect.DeepEqual(s.Draw(3).PlannedEvents, again.Draw(3).PlannedEvents) {
+	if !reflect.DeepEqual(s.Draw(3), again.Draw(3)) &&
+		!reflect.DeepEqual(s.Draw(3).PlannedEvents, again.Draw(3).PlannedEvents) {
 		t.Errorf("what Text says is another scenario:\n%s", text)
 	}
 }
@@ -158,7 +162,8 @@
 	}
 	for _, seed := range []uint64{1, 2, 3} {
 		p := parse(t, least+"[[event]]\nwhat = \"kill\"\nat = \"3s..9s\"\npart = [0.5]\n").Draw(seed)
-		if h := p.PlannedEvents[0]; len(h.Endpoints) != 2 || h.At < 3*second || h.At > 9*second || h.Until != math.MaxInt64 {
+		if h := p.PlannedEvents[0]; len(h.Endpoints) != 2 || h.At < 3*second || h.At > 9*second ||
+			h.Until != math.MaxInt64 {
 			t.Errorf("seed %d: %+v", seed, h)
 		}
 	}
@@ -166,7 +171,8 @@
 
 // Subsets tell each endpoint to as many instances as any other.
 func TestSubset(t *testing.T) {
-	s := parse(t, strings.Replace(strings.Replace(least, "count = 4", "count = 100", 1), "zones =", "instances = 50\nsubset = 20\nzones =", 1))
+	s := parse(t, strings.Replace(strings.Replace(least, "count = 4", "count = 100", 1), "zones =",
+		"instances = 50\nsubset = 20\nzones =", 1))
 	told := make([]int, 100)
 	for _, in := range s.Draw(1).Instances {
 		if len(in.Endpoints) != 20 {
--- a/internal/simulation/simclient/operation.go
+++ b/internal/simulation/simclient/operation.go
@@ -1,6 +1,7 @@
-// Package simclient is a client of the fleet as a state machine: what it wants, for how long it waits, and how it tries again
-// by itself. It is free of I/O and reads no clock, so that the same clients ask in simulated time (package simulation) and over
-// sockets (package processes). All its tries for one thing belong to one Story; what a story is worth, package measure says.
+// Package simclient is a client of the fleet as a state machine: what it wants, for how long it waits, and how it tries
+// again by itself. It is free of I/O and reads no clock, so that the same clients ask in simulated time (package
+// simulation) and over sockets (package processes). All its tries for one thing belong to one Story; what a story is
+// worth, package measure says.
 package simclient
 
 import (
@@ -18,7 +19,8 @@
 	HonorRetryAfter float64            // part of the clients that wait for as long as they are told
 	EarlyAbort      float64            // part of the tries that are left before their time
 	MarkRetries     bool               // tries after the first say so
-	FreshKeys       float64            // part of the clients whose tries have a new key each, as if they were new requests
+	// part of the clients whose tries have a new key each, as if they were new requests
+	FreshKeys float64
 }
 
 // Operation is one thing that a client wants, with all its tries.
@@ -115,9 +117,11 @@
 	return t
 }
 
-// RequestEnded tells how a try ended; trying again is harmless after a refusal only, and otherwise as the class allows. If again
-// is so, the next try begins at an instant: Again makes it. Of a try that is not the present one nothing is taken in.
-func (s *Operation) RequestEnded(now monotime.Micros, number int, v RequestOutcome, retryAfter monotime.Micros, c *balancer.Class, r *rand.Rand) (at monotime.Micros, again bool) {
+// RequestEnded tells how a try ended; trying again is harmless after a refusal only, and otherwise as the class allows.
+// If again is so, the next try begins at an instant: Again makes it. Of a try that is not the present one nothing is
+// taken in.
+func (s *Operation) RequestEnded(now monotime.Micros, number int, v RequestOutcome, retryAfter monotime.Micros,
+	c *balancer.Class, r *rand.Rand) (at monotime.Micros, again bool) {
 	if !s.inFlight || number != s.requestNumber || s.Outcome != Pending {
 		return 0, false
 	}
@@ -142,7 +146,8 @@
 	if v == Rejected && s.honorsRetryAfter {
 		wait = max(wait, retryAfter)
 	}
-	if s.requestNumber > s.maxRetries || now+wait >= s.Deadline(c) || v != Rejected && c.Idempotency == balancer.NonIdempotent {
+	if s.requestNumber > s.maxRetries || now+wait >= s.Deadline(c) || v != Rejected &&
+		c.Idempotency == balancer.NonIdempotent {
 		s.Outcome = Unserved
 		s.EndedAt = now
 		return 0, false
--- a/internal/simulation/simclient/operation_test.go
+++ b/internal/simulation/simclient/operation_test.go
@@ -14,9 +14,18 @@
 // after one that may have run.
 func TestOneOutcome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := Behavior{Retries: [2]int{0, rapid.IntRange(0, 4).Draw(t, "retries")}, TimeoutShare: [2]float64{0.3, 0.8}, Backoff: [2]monotime.Micros{1000, 50_000},
-			HonorRetryAfter: rapid.Float64Range(0, 1).Draw(t, "honour"), EarlyAbort: 0.2}
-		c := &balancer.Class{LatencyObjective: 200_000, ClientTimeout: 500_000, Idempotency: balancer.Idempotency(rapid.IntRange(0, 2).Draw(t, "repeat"))}
+		h := Behavior{
+			Retries:         [2]int{0, rapid.IntRange(0, 4).Draw(t, "retries")},
+			TimeoutShare:    [2]float64{0.3, 0.8},
+			Backoff:         [2]monotime.Micros{1000, 50_000},
+			HonorRetryAfter: rapid.Float64Range(0, 1).Draw(t, "honour"),
+			EarlyAbort:      0.2,
+		}
+		c := &balancer.Class{
+			LatencyObjective: 200_000,
+			ClientTimeout:    500_000,
+			Idempotency:      balancer.Idempotency(rapid.IntRange(0, 2).Draw(t, "repeat")),
+		}
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		s := &Operation{ID: 1, IdempotencyKey: 5}
 		began := monotime.Micros(rapid.IntRange(0, 1_000_000).Draw(t, "began"))
--- a/internal/simulation/simendpoint/endpoint.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -1,7 +1,7 @@
-// Package simendpoint is an endpoint as a state machine: cores that requests queue for, a speed that differs and changes, a
-// warm-up, draining, falling over, connections, keys whose repeats it drops, and reports of its load. It decides nothing
-// for the fleet: it is what the fleet is tried on. It is free of I/O and reads no clock, so that the same endpoint stands
-// in simulated time (package simulation) and behind a socket (package processes).
+// Package simendpoint is an endpoint as a state machine: cores that requests queue for, a speed that differs and
+// changes, a warm-up, draining, falling over, connections, keys whose repeats it drops, and reports of its load. It
+// decides nothing for the fleet: it is what the fleet is tried on. It is free of I/O and reads no clock, so that the
+// same endpoint stands in simulated time (package simulation) and behind a socket (package processes).
 package simendpoint
 
 import (
@@ -177,7 +177,8 @@
 
 // WarmupShare is the part of its speed that it has by now.
 func (n *Endpoint) WarmupShare(now monotime.Micros) float64 {
-	if n.alwaysUp || n.config.WarmupDuration <= 0 || n.config.WarmupFrom <= 0 || now-n.startedAt >= n.config.WarmupDuration {
+	if n.alwaysUp || n.config.WarmupDuration <= 0 || n.config.WarmupFrom <= 0 ||
+		now-n.startedAt >= n.config.WarmupDuration {
 		return 1
 	}
 	return n.config.WarmupFrom + (1-n.config.WarmupFrom)*float64(now-n.startedAt)/float64(n.config.WarmupDuration)
@@ -205,7 +206,8 @@
 
 // Arrive takes a request in, or says at once what becomes of it: Full, or Error of one that has not run.
 func (n *Endpoint) Arrive(now monotime.Micros, j *Job) Verdict {
-	if n.draining || n.collapsed || n.config.QueueCapacity > 0 && len(n.queue) >= n.config.QueueCapacity && n.busy == len(n.cores) {
+	if n.draining || n.collapsed || n.config.QueueCapacity > 0 && len(n.queue) >= n.config.QueueCapacity &&
+		n.busy == len(n.cores) {
 		n.recordOffered(now, j)
 		return Rejected
 	}
@@ -213,7 +215,8 @@
 	if n.collapsed || j.Chance < n.condition.RejectRate {
 		return Rejected
 	}
-	if (!n.condition.OneClass || n.condition.Class == j.Class) && j.Chance >= n.config.ErrorRate && j.Chance < n.config.ErrorRate+n.condition.ErrorRate {
+	if (!n.condition.OneClass || n.condition.Class == j.Class) && j.Chance >= n.config.ErrorRate &&
+		j.Chance < n.config.ErrorRate+n.condition.ErrorRate {
 		n.report.errors++
 		return Failed
 	}
--- a/internal/simulation/simendpoint/endpoint_test.go
+++ b/internal/simulation/simendpoint/endpoint_test.go
@@ -9,12 +9,19 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Whatever comes, each request that an endpoint takes ends once, it works at no more than its cores allow, and in time it
-// does no more work than it can.
+// Whatever comes, each request that an endpoint takes ends once, it works at no more than its cores allow, and in time
+// it does no more work than it can.
 func TestEachRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{Cores: rapid.IntRange(1, 4).Draw(t, "cores"), Speed: rapid.Float64Range(0.3, 2).Draw(t, "speed"), QueueCapacity: rapid.IntRange(0, 5).Draw(t, "queue"),
-			Cancellation: Cancellation(rapid.IntRange(0, 2).Draw(t, "cancel")), ErrorRate: 0.1, WarmupFrom: 0.2, WarmupDuration: second}
+		c := Config{
+			Cores:          rapid.IntRange(1, 4).Draw(t, "cores"),
+			Speed:          rapid.Float64Range(0.3, 2).Draw(t, "speed"),
+			QueueCapacity:  rapid.IntRange(0, 5).Draw(t, "queue"),
+			Cancellation:   Cancellation(rapid.IntRange(0, 2).Draw(t, "cancel")),
+			ErrorRate:      0.1,
+			WarmupFrom:     0.2,
+			WarmupDuration: second,
+		}
 		n := New(c, NewDedupGroup(400_000))
 		now := monotime.Micros(0)
 		n.Start(now, rapid.Bool().Draw(t, "warm"))
@@ -57,7 +64,10 @@
 			case 2:
 				n.Pause(now, 20_000)
 			default:
-				j := &Job{Work: monotime.Micros(rapid.IntRange(1, 60_000).Draw(t, "work")), Chance: rapid.Float64Range(0, 1).Draw(t, "luck")}
+				j := &Job{
+					Work:   monotime.Micros(rapid.IntRange(1, 60_000).Draw(t, "work")),
+					Chance: rapid.Float64Range(0, 1).Draw(t, "luck"),
+				}
 				if v := n.Arrive(now, j); v == Accepted {
 					open[j] = true
 				}
@@ -81,10 +91,17 @@
 	})
 }
 
-// A cold endpoint that is sent too much for too long falls over, and stays so until it is started again; one that is warm,
-// or is sent what it can do, does not.
+// A cold endpoint that is sent too much for too long falls over, and stays so until it is started again; one that is
+// warm, or is sent what it can do, does not.
 func TestFallsOver(t *testing.T) {
-	c := Config{Cores: 2, Speed: 1, WarmupFrom: 0.2, WarmupDuration: 20 * second, CollapseLoad: 2.5, CollapseWindow: 2 * second}
+	c := Config{
+		Cores:          2,
+		Speed:          1,
+		WarmupFrom:     0.2,
+		WarmupDuration: 20 * second,
+		CollapseLoad:   2.5,
+		CollapseWindow: 2 * second,
+	}
 	push := func(n *Endpoint, from monotime.Micros, load float64) bool {
 		const work = 20_000
 		gap := monotime.Micros(work / (load * 2))
--- a/internal/simulation/simendpoint/report.go
+++ b/internal/simulation/simendpoint/report.go
@@ -65,7 +65,14 @@
 		nothing := math.NaN()
 		return Load{nothing, nothing, nothing, nothing, nothing, nothing}
 	case n.condition.InvalidReports:
-		return Load{Inflight: 1e9, Queue: 1e9, Util: -3, LatencyMS: math.Inf(1), Served: 1 + 1e9*r.Float64(), Errors: 1e9}
+		return Load{
+			Inflight:  1e9,
+			Queue:     1e9,
+			Util:      -3,
+			LatencyMS: math.Inf(1),
+			Served:    1 + 1e9*r.Float64(),
+			Errors:    1e9,
+		}
 	case n.condition.ReportDelay > 0:
 		old := Load{}
 		for i := len(f.history) - 1; i >= 0; i-- {
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -1,8 +1,8 @@
 // Package simulation plays a fleet in simulated time. What decides is linked, not written again: each instance is an
-// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package simendpoint),
-// clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan, the settings and the
-// build: it reads no clock, and all that is left to chance is drawn from package randstream, for whom it is meant. It knows
-// nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
+// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package
+// simendpoint), clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan,
+// the settings and the build: it reads no clock, and all that is left to chance is drawn from package randstream, for
+// whom it is meant. It knows nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
 package simulation
 
 import (
@@ -43,8 +43,8 @@
 	Clients        connlimit.Limits
 	Client         fairqueue.ClientSpec // what each client process may do
 
-	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots differ
-	// in nothing else.
+	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots
+	// differ in nothing else.
 	DecisionSeed uint64
 	// Harm spoils this part of the stories: a known harm, to see whether a comparison finds it.
 	KnownHarm float64
@@ -54,9 +54,12 @@
 type Options struct {
 	Plan     *scenario.Plan
 	Settings *Settings
-	Criteria measure.Criteria                                    // its classes and tenants, by name, are those of the plan
-	Trace    func(Trace)                                         // told of what happens to stories, for those who look for a cause; may be nil
-	Record   func(x *RequestRecord)                              // told of each request that an instance took, once it is over; may be nil
+	// its classes and tenants, by name, are those of the plan
+	Criteria measure.Criteria
+	// told of what happens to stories, for those who look for a cause; may be nil
+	Trace func(Trace)
+	// told of each request that an instance took, once it is over; may be nil
+	Record   func(x *RequestRecord)
 	Log      func(at monotime.Micros, instance int, line string) // told of what instances log; may be nil
 	Progress func(at monotime.Micros)
 }
@@ -163,8 +166,15 @@
 	result.Elapsed = time.Since(startedAt)
 	for i, e := range r.endpoints {
 		n := &o.Plan.Endpoints[i]
-		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight, Arrivals: e.arrivals,
-			Utilization: float64(e.model.WorkDone()) / n.Config.Speed / float64(n.Config.Cores) / float64(max(r.now, 1))})
+		result.Endpoints = append(result.Endpoints, measure.EndpointLoad{
+			Name:        n.Name,
+			Zone:        n.Zone,
+			Executions:  e.executions,
+			MaxInFlight: e.maxInFlight,
+			Arrivals:    e.arrivals,
+			Utilization: float64(e.model.WorkDone()) / n.Config.Speed / float64(n.Config.Cores) / float64(max(r.now,
+				1)),
+		})
 	}
 	return result, nil
 }
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -61,19 +61,71 @@
 `
 
 func testSettings() *Settings {
-	s := balancer.Settings{Balancers: 3, LoadMetrics: []balancer.LoadMetric{balancer.MetricInflight}, OverQuotaWeight: 0.1,
+	s := balancer.Settings{
+		Balancers:       3,
+		LoadMetrics:     []balancer.LoadMetric{balancer.MetricInflight},
+		OverQuotaWeight: 0.1,
 		Classes: []balancer.Class{
 			{Name: "look", LatencyObjective: 200_000, ClientTimeout: 500_000, PriorityWeight: 1},
-			{Name: "book", Idempotency: balancer.IdempotentByKey, DedupScope: balancer.DedupCell, DedupWindow: 400_000, LatencyObjective: 250_000, ClientTimeout: 600_000, PriorityWeight: 3},
-			{Name: "sell", Idempotency: balancer.NonIdempotent, LatencyObjective: 250_000, ClientTimeout: 600_000, PriorityWeight: 3}},
+			{
+				Name:             "book",
+				Idempotency:      balancer.IdempotentByKey,
+				DedupScope:       balancer.DedupCell,
+				DedupWindow:      400_000,
+				LatencyObjective: 250_000,
+				ClientTimeout:    600_000,
+				PriorityWeight:   3,
+			},
+			{
+				Name:             "sell",
+				Idempotency:      balancer.NonIdempotent,
+				LatencyObjective: 250_000,
+				ClientTimeout:    600_000,
+				PriorityWeight:   3,
+			}},
 		Tenants: []balancer.Tenant{{Name: "p", Quota: 1000, Share: 1}},
-		Limits:  balancer.Limits{Cancel: true, Probes: true, Hedging: true, RetryAfter: true, MaxAttempts: 3, MaxOpenRequests: 1000, MaxRetryAfter: 400_000, DialTimeout: 100_000},
-		Contract: balancer.Contract{DrainGrace: 250_000, WarmupStartCapacity: 0.3, WarmupTime: 4_000_000, CollapseMultiple: 2.5, CollapseAfter: 2_000_000, PollInterval: 10_000_000,
-			AnswerSlack: 16_000},
-		Goal: balancer.Goal{Overall: 1}}
-	return &Settings{Site: siteconfig.Site{Settings: s, Classes: []string{"look", "book", "sell"}, Tenants: []string{"p"}, Zones: []string{"x", "y"}, Kinds: []string{"n"},
-		KeepAlive: 15 * time.Second}, Concurrency: engine.ConcurrencySettings{MaxOpen: 1000, Adaptive: &concurrency.Settings{Min: 4, Max: 500, Initial: 16}},
-		Clients: connlimit.Limits{MaxConnections: 500, MaxIdle: 100, MaxIdleTime: 15 * second, MinIdleTime: second / 10}, Client: fairqueue.ClientSpec{Weight: 1}}
+		Limits: balancer.Limits{
+			Cancel:          true,
+			Probes:          true,
+			Hedging:         true,
+			RetryAfter:      true,
+			MaxAttempts:     3,
+			MaxOpenRequests: 1000,
+			MaxRetryAfter:   400_000,
+			DialTimeout:     100_000,
+		},
+		Contract: balancer.Contract{
+			DrainGrace:          250_000,
+			WarmupStartCapacity: 0.3,
+			WarmupTime:          4_000_000,
+			CollapseMultiple:    2.5,
+			CollapseAfter:       2_000_000,
+			PollInterval:        10_000_000,
+			AnswerSlack:         16_000,
+		},
+		Goal: balancer.Goal{Overall: 1},
+	}
+	return &Settings{
+		Site: siteconfig.Site{
+			Settings:  s,
+			Classes:   []string{"look", "book", "sell"},
+			Tenants:   []string{"p"},
+			Zones:     []string{"x", "y"},
+			Kinds:     []string{"n"},
+			KeepAlive: 15 * time.Second,
+		},
+		Concurrency: engine.ConcurrencySettings{
+			MaxOpen:  1000,
+			Adaptive: &concurrency.Settings{Min: 4, Max: 500, Initial: 16},
+		},
+		Clients: connlimit.Limits{
+			MaxConnections: 500,
+			MaxIdle:        100,
+			MaxIdleTime:    15 * second,
+			MinIdleTime:    second / 10,
+		},
+		Client: fairqueue.ClientSpec{Weight: 1},
+	}
 }
 
 func play(t *testing.T, events string, seed uint64, s *Settings, trace func(Trace)) *measure.Result {
@@ -83,16 +135,26 @@
 		t.Fatal(err)
 	}
 	b := &s.Site.Settings
-	r, err := Run(context.Background(), Options{Plan: sc.Draw(seed), Settings: s, Trace: trace,
-		Criteria: measure.Criteria{Classes: b.Classes, Tenants: b.Tenants, OverQuotaWeight: b.OverQuotaWeight, Goal: b.Goal, Prices: b.Prices}})
+	r, err := Run(context.Background(), Options{
+		Plan:     sc.Draw(seed),
+		Settings: s,
+		Trace:    trace,
+		Criteria: measure.Criteria{
+			Classes:         b.Classes,
+			Tenants:         b.Tenants,
+			OverQuotaWeight: b.OverQuotaWeight,
+			Goal:            b.Goal,
+			Prices:          b.Prices,
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return r
 }
 
-// A run follows from plan, settings and build. Variants meet the same stories, each with the same work, whatever becomes
-// of them.
+// A run follows from plan, settings and build. Variants meet the same stories, each with the same work, whatever
+// becomes of them.
 func TestSameRunSameDigest(t *testing.T) {
 	const events = "[[event]]\nwhat = \"kill\"\nat = \"4s\"\nfor = \"2s\"\npart = [0.3]\n"
 	asked := func(s *Settings) (digest string, first []Trace) {
@@ -121,8 +183,8 @@
 	}
 }
 
-// Whatever goes wrong, each story has one outcome, each try that a running instance takes has one answer in its time, and
-// no rule is broken.
+// Whatever goes wrong, each story has one outcome, each try that a running instance takes has one answer in its time,
+// and no rule is broken.
 func TestEachOperationEnds(t *testing.T) {
 	for name, events := range map[string]string{
 		"calm":    "",
@@ -181,7 +243,8 @@
 	good := testSettings()
 	harmed := testSettings()
 	harmed.KnownHarm = 0.2
-	if a, b := play(t, "", 1, good, nil).Figures["served"], play(t, "", 1, harmed, nil).Figures["unserved"]; a < 0.99 || b < 0.15 || b > 0.25 {
+	if a, b := play(t, "", 1, good, nil).Figures["served"], play(t, "", 1, harmed,
+		nil).Figures["unserved"]; a < 0.99 || b < 0.15 || b > 0.25 {
 		t.Errorf("served %v without harm; unserved %v with a fifth harmed", a, b)
 	}
 	sc, err := scenario.Parse([]byte(world), nil)
@@ -191,10 +254,18 @@
 	bad := testSettings()
 	bad.Site.Zones = []string{"x"}
 	b := &bad.Site.Settings
-	if _, err := Run(context.Background(), Options{Plan: sc.Draw(1), Settings: bad, Criteria: measure.Criteria{Classes: b.Classes, Tenants: b.Tenants}}); err == nil {
+	if _, err := Run(context.Background(), Options{
+		Plan:     sc.Draw(1),
+		Settings: bad,
+		Criteria: measure.Criteria{Classes: b.Classes, Tenants: b.Tenants},
+	}); err == nil {
 		t.Error("settings without one of the zones were taken")
 	}
-	if _, err := Run(context.Background(), Options{Plan: sc.Draw(1), Settings: testSettings(), Criteria: measure.Criteria{Classes: b.Classes[:1], Tenants: b.Tenants}}); err == nil {
+	if _, err := Run(context.Background(), Options{
+		Plan:     sc.Draw(1),
+		Settings: testSettings(),
+		Criteria: measure.Criteria{Classes: b.Classes[:1], Tenants: b.Tenants},
+	}); err == nil {
 		t.Error("a judge without one of the classes was taken")
 	}
 }
