--- a/internal/fake/client/client.go
+++ b/internal/fake/client/client.go
@@ -230,7 +230,7 @@
 	return c.options.Classes[len(c.options.Classes)-1]
 }
 
-// Ask makes one request. Where a kept connection turns out to have been closed before the request, it is made
+// Send makes one request. Where a kept connection turns out to have been closed before the request, it is made
 // once more on a new one, as PROTOCOL has clients do.
 func (c *Client) Send(class Class, id, key string) Result {
 	r := Result{ID: id, Key: key, Class: class.Name, StartedAt: time.Now()}
--- a/internal/fake/discoveryserver/roster.go
+++ b/internal/fake/discoveryserver/roster.go
@@ -71,7 +71,7 @@
 	s.changes = make(chan struct{})
 }
 
-// Silence has the roster say nothing more on its watches, and answer no call, or ends that.
+// SetSilent has the roster say nothing more on its watches, and answer no call, or ends that.
 func (s *Server) SetSilent(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -136,14 +136,14 @@
 	<-s.done
 }
 
-// Drain says whether the endpoint is draining: it finishes what it has and turns new requests away.
+// SetDraining says whether the endpoint is draining: it finishes what it has and turns new requests away.
 func (s *Server) SetDraining(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = on
 }
 
-// Faults sets what goes wrong from now on; nil is nothing.
+// SetFaults sets what goes wrong from now on; nil is nothing.
 func (s *Server) SetFaults(f func(*http.Request) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -276,14 +276,14 @@
 	s.served++
 }
 
-// Probed returns how many probes were answered.
+// ProbeCount returns how many probes were answered.
 func (s *Server) ProbeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.probed
 }
 
-// Served returns how many requests have been worked at to an end.
+// ServedCount returns how many requests have been worked at to an end.
 func (s *Server) ServedCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fake/scripteddiscovery/board.go
+++ b/internal/fake/scripteddiscovery/board.go
@@ -13,7 +13,7 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// Board is a discovery whose watches are written by hand.
+// Server is a discovery whose watches are written by hand.
 type Server struct {
 	Addr     string
 	Requests chan string // what each call asked for: its values of watch and after
--- a/internal/fake/scriptedpeer/peer.go
+++ b/internal/fake/scriptedpeer/peer.go
@@ -15,13 +15,13 @@
 	"dunlinsail/internal/fake/freeport"
 )
 
-// Soon bounds every wait for something that must come.
+// WaitTimeout bounds every wait for something that must come.
 const WaitTimeout = 20 * time.Second
 
-// Quiet is a log that nobody reads.
+// DiscardLog is a log that nobody reads.
 var DiscardLog = slog.New(slog.DiscardHandler)
 
-// Nowhere returns an address that refuses connections.
+// ClosedAddress returns an address that refuses connections.
 func ClosedAddress(t testing.TB) string {
 	t.Helper()
 	addr, err := freeport.Free()
@@ -31,7 +31,7 @@
 	return addr
 }
 
-// Web starts a server that speaks plain HTTP, and returns its address.
+// StartHTTP starts a server that speaks plain HTTP, and returns its address.
 func StartHTTP(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
@@ -39,7 +39,7 @@
 	return s.Listener.Addr().String()
 }
 
-// Raw starts a server whose connections are handled by hand, and closed when the handler returns.
+// StartTCP starts a server whose connections are handled by hand, and closed when the handler returns.
 func StartTCP(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -62,7 +62,7 @@
 	return ln.Addr().String()
 }
 
-// Take reads a whole request.
+// ReadRequest reads a whole request.
 func ReadRequest(r *bufio.Reader) (*http.Request, error) {
 	req, err := http.ReadRequest(r)
 	if err == nil {
@@ -71,7 +71,7 @@
 	return req, err
 }
 
-// Within returns what comes on a channel, and fails the test if nothing does.
+// Receive returns what comes on a channel, and fails the test if nothing does.
 func Receive[T any](t testing.TB, ch <-chan T, what string) T {
 	t.Helper()
 	select {
--- a/internal/fake/webapp/app.go
+++ b/internal/fake/webapp/app.go
@@ -37,7 +37,7 @@
 	Delay          time.Duration       `json:"work,omitempty"`    // before the answer
 }
 
-// Text returns the plan as its header has it.
+// JSON returns the plan as its header has it.
 func (p Plan) JSON() string {
 	text, err := json.Marshal(p)
 	if err != nil {
@@ -46,7 +46,7 @@
 	return string(text)
 }
 
-// Parts returns the lengths of the pieces in which the body is written. Each piece begins the pattern of Bytes anew.
+// PieceSizes returns the lengths of the pieces in which the body is written. Each piece begins the pattern of Bytes anew.
 func (p Plan) PieceSizes() []int {
 	parts := make([]int, max(1, p.Pieces))
 	for i := range parts {
@@ -56,7 +56,7 @@
 	return parts
 }
 
-// Got is what the application saw of a request. It tells so in the answer's header GotHeader, but for the body of a
+// ObservedRequest is what the application saw of a request. It tells so in the answer's header GotHeader, but for the body of a
 // request that was answered early.
 type ObservedRequest struct {
 	Method, URI, Host string
@@ -66,7 +66,7 @@
 	Chunked           bool
 }
 
-// GotHeader is the answer's header that holds a Got as JSON.
+// ObservedRequestHeader is the answer's header that holds a Got as JSON.
 const ObservedRequestHeader = "X-Got"
 
 // App is a running application.
@@ -99,16 +99,16 @@
 	a.ended.Wait()
 }
 
-// Fail answers everything with a status from now on; 0 ends that.
+// SetStatus answers everything with a status from now on; 0 ends that.
 func (a *App) SetStatus(status int) { a.forcedStatus.Store(int32(status)) }
 
-// Fault has the connection reset, once a request has run, wherever f says so.
+// SetFault has the connection reset, once a request has run, wherever f says so.
 func (a *App) SetFault(f func(r *http.Request) bool) { a.fault.Store(&f) }
 
-// Asked returns how many requests have come.
+// RequestCount returns how many requests have come.
 func (a *App) RequestCount() int64 { return a.requestCount.Load() }
 
-// Bytes writes n bytes of a body that is the same each time.
+// WriteBody writes n bytes of a body that is the same each time.
 func WriteBody(w io.Writer, n int) error {
 	for n > 0 {
 		p := pattern[:min(n, len(pattern))]
