--- a/internal/http1msg/body.go
+++ b/internal/http1msg/body.go
@@ -10,24 +10,24 @@
 	"strconv"
 )
 
-// FramingKind says how a message's body ends.
+// FramingKind is how the end of a message's body is marked.
 type FramingKind uint8
 
 // The kinds of framing (RFC 9112 section 6.3).
 const (
 	NoBody      FramingKind = iota // there is no body
-	FixedLength                    // after Length bytes
-	Chunked                        // with a chunk of no bytes, and trailers
-	UntilClose                     // with the connection: answers only
+	FixedLength                    // it has Length bytes
+	Chunked                        // it ends with an empty chunk, and trailers
+	UntilClose                     // it ends with the connection: responses only
 )
 
-// Framing says where a message's body ends.
+// Framing is where a message's body ends.
 type Framing struct {
 	Kind   FramingKind
-	Length int64 // of Sized
+	Length int64 // of FixedLength
 }
 
-// The errors of framing. Each is of a message that two readers could end in two places.
+// Errors of framing. Two readers could disagree on where a message with one of them ends.
 var (
 	ErrContentLength     = errors.New("Content-Length makes no sense")
 	ErrTransferEncoding  = errors.New("Transfer-Encoding is not chunked")
@@ -36,7 +36,7 @@
 	ErrMalformedTrailer  = errors.New("a trailer makes no sense")
 )
 
-// RequestFraming returns how a request's body ends, by its header.
+// RequestFraming returns the framing of a request's body.
 func RequestFraming(h http.Header) (Framing, error) {
 	f, known, err := declaredFraming(h)
 	if err != nil || known {
@@ -45,23 +45,24 @@
 	return Framing{}, nil
 }
 
-// ResponseFraming returns how an answer's body ends, by the request's method, its code and its header.
+// ResponseFraming returns the framing of a response's body, by the request's method, the response's status and header.
 func ResponseFraming(method string, code int, h http.Header) (Framing, error) {
 	f, known, err := declaredFraming(h)
 	switch {
 	case err != nil:
 		return f, err
 	case method == http.MethodHead || code < 200 || code == http.StatusNoContent || code == http.StatusNotModified:
-		return Framing{}, nil // whatever its header says
+		return Framing{}, nil // whatever the header says
 	case !known:
 		return Framing{Kind: UntilClose}, nil
 	}
 	return f, nil
 }
 
-// announced returns what a header says of the body.
+// declaredFraming returns the framing that a header declares, if it does.
 func declaredFraming(h http.Header) (f Framing, known bool, err error) {
-	lengths, encodings := h["Content-Length"], h["Transfer-Encoding"]
+	lengths := h["Content-Length"]
+	encodings := h["Transfer-Encoding"]
 	switch {
 	case len(lengths) > 0 && len(encodings) > 0:
 		return f, false, ErrLengthAndEncoding
@@ -84,43 +85,47 @@
 	return f, false, nil
 }
 
-// Body reads a message's body. Unlike net/http's it may be read on after an error of the connection that passes, such
-// as a deadline, and it takes no chunk that ends otherwise than RFC 9112 says. Read returns io.EOF only at the end that
-// the framing names; where the connection ends before, it is io.ErrUnexpectedEOF.
+// Body reads a message's body. Unlike net/http's it can be read on after a temporary error of the connection, such as
+// a deadline, and accepts no chunk that ends otherwise than RFC 9112 requires. Read returns io.EOF only at the end
+// that the framing defines, and io.ErrUnexpectedEOF where the connection ends before. It is not safe for concurrent
+// use.
 type Body struct {
 	reader    *bufio.Reader
 	kind      FramingKind
-	remaining int64 // of the length, or of the present chunk
+	remaining int64 // bytes of the length, or of the current chunk
 	state     chunkState
-	overhead  int // bytes of chunks' heads and trailers so far, of which there may be so many
+	overhead  int // bytes of chunk extensions, or of trailers, so far
 	trailer   http.Header
 	done      bool
 }
 
+// chunkState is the part of a chunked body that is read next.
 type chunkState uint8
 
 const (
-	chunkHeader chunkState = iota
-	chunkData
-	chunkEnd
-	chunkTrailer
+	chunkHeader  chunkState = iota // the line with a chunk's size
+	chunkData                      // a chunk's bytes
+	chunkEnd                       // CR LF behind them
+	chunkTrailer                   // a trailer, or the empty line behind them
 )
 
 const (
-	// lineMost is the longest line of a chunk's head or of a trailer. It must fit into the reader's buffer.
+	// maxLineBytes is the longest line of a chunk's header or of a trailer. It must fit into the reader's buffer.
 	maxLineBytes = 2 << 10
-	// MaxTrailerBytes is the most bytes that the trailers of a message may have, and extensionsMost the most that its
-	// chunks' extensions may have, beyond the sixteen bytes that a chunk's head needs.
-	MaxTrailerBytes   = 8 << 10
+	// MaxTrailerBytes is the largest size of the trailers of a message.
+	MaxTrailerBytes = 8 << 10
+	// maxExtensionBytes is the largest size of the extensions of all chunks of a message, beyond chunkSizeDigits each.
 	maxExtensionBytes = 8 << 10
+	// chunkSizeDigits is the largest number of digits of a chunk's size.
+	chunkSizeDigits = 16
 )
 
-// NewBody returns the body that follows in r, whose buffer holds 4 KiB at least.
+// NewBody returns the body that follows in r, whose buffer must hold 4 KiB at least.
 func NewBody(r *bufio.Reader, f Framing) *Body {
 	return &Body{reader: r, kind: f.Kind, remaining: f.Length, done: f.Kind == NoBody}
 }
 
-// Done says whether the body has been read to its end.
+// Done reports whether the body has been read to its end.
 func (b *Body) Done() bool { return b.done }
 
 // Trailer returns the trailers of a chunked body that has been read to its end.
@@ -138,7 +143,7 @@
 	return n
 }
 
-// Read reads a part of the body.
+// Read reads a part of the body, as io.Reader describes.
 func (b *Body) Read(p []byte) (int, error) {
 	switch {
 	case b.done:
@@ -167,12 +172,13 @@
 			b.state = chunkEnd
 		}
 		if err == io.EOF {
-			err = nil // if more is wanted, the next read says so
+			err = nil // the next read returns it if more is expected
 		}
 	}
 	return n, unexpectedEOF(err)
 }
 
+// unexpectedEOF returns err, io.ErrUnexpectedEOF in place of io.EOF.
 func unexpectedEOF(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
@@ -180,10 +186,10 @@
 	return err
 }
 
-// chunk goes on to where data of a chunk can be read, or to the end.
+// advanceToData reads up to the next data of a chunk, or to the end of the body.
 func (b *Body) advanceToData() error {
 	for b.state != chunkData {
-		line, err := b.peekLine()
+		line, err := b.nextLine()
 		if err != nil {
 			return err
 		}
@@ -197,16 +203,17 @@
 			if b.remaining, err = chunkSize(line); err != nil {
 				return err
 			}
-			if b.overhead += max(0, len(line)-16); b.overhead > maxExtensionBytes {
+			if b.overhead += max(0, len(line)-chunkSizeDigits); b.overhead > maxExtensionBytes {
 				return ErrMalformedChunk
 			}
 			b.state = chunkData
 			if b.remaining == 0 {
-				b.state, b.overhead = chunkTrailer, 0
+				b.state = chunkTrailer
+				b.overhead = 0
 			}
 		case chunkTrailer:
 			if len(line) == 0 {
-				_, _ = b.reader.Discard(len(crlf)) // line has them in the buffer
+				_, _ = b.reader.Discard(len(crlf)) // nextLine has them in the buffer
 				b.done = true
 				return nil
 			}
@@ -217,50 +224,50 @@
 				return err
 			}
 		}
-		_, _ = b.reader.Discard(len(line) + len(crlf)) // line has them in the buffer
+		_, _ = b.reader.Discard(len(line) + len(crlf)) // nextLine has them in the buffer
 	}
 	return nil
 }
 
-// line returns the next line without its end, and leaves it in the buffer.
-func (b *Body) peekLine() ([]byte, error) {
+// nextLine returns the next line without its end, and leaves it in the buffer.
+func (b *Body) nextLine() ([]byte, error) {
 	for {
-		have, _ := b.reader.Peek(b.reader.Buffered())
-		if i := bytes.IndexByte(have, '\n'); i >= 0 {
-			if i == 0 || have[i-1] != '\r' || bytes.IndexByte(have[:i-1], '\r') >= 0 {
+		buffered, _ := b.reader.Peek(b.reader.Buffered())
+		if i := bytes.IndexByte(buffered, '\n'); i >= 0 {
+			if i == 0 || buffered[i-1] != '\r' || bytes.IndexByte(buffered[:i-1], '\r') >= 0 {
 				return nil, ErrMalformedChunk
 			}
-			return have[:i-1], nil
+			return buffered[:i-1], nil
 		}
-		if len(have) > maxLineBytes {
+		if len(buffered) > maxLineBytes {
 			return nil, ErrMalformedChunk
 		}
-		if _, err := b.reader.Peek(len(have) + 1); err != nil && b.reader.Buffered() <= len(have) {
+		if _, err := b.reader.Peek(len(buffered) + 1); err != nil && b.reader.Buffered() <= len(buffered) {
 			return nil, unexpectedEOF(err)
 		}
 	}
 }
 
-// chunkSize reads a chunk's head (RFC 9112 section 7.1): its size in hexadecimal digits, and extensions, which are
-// passed over.
+// chunkSize parses a chunk's header (RFC 9112 section 7.1): its size in hexadecimal digits, and extensions, which are
+// ignored.
 func chunkSize(line []byte) (int64, error) {
 	digits, extension, _ := bytes.Cut(line, []byte(";"))
 	if bytes.ContainsFunc(extension, isControl) {
 		return 0, ErrMalformedChunk
 	}
 	digits = bytes.TrimRight(digits, " \t")
-	if len(digits) == 0 || len(digits) > 16 {
+	if len(digits) == 0 || len(digits) > chunkSizeDigits {
 		return 0, ErrMalformedChunk
 	}
-	n, err := strconv.ParseUint(string(digits), 16, 64) // takes neither a sign nor a prefix
+	n, err := strconv.ParseUint(string(digits), 16, 64) // accepts neither a sign nor a prefix
 	if err != nil || n > math.MaxInt64 || bytes.IndexByte(digits, '_') >= 0 {
 		return 0, ErrMalformedChunk
 	}
 	return int64(n), nil
 }
 
-// addTrailer notes a trailer. One that decides where a message ends, or who asks for what, must not come behind the
-// body, when all that has been settled (RFC 9110 section 6.5.1).
+// addTrailer parses a trailer. Fields that determine where a message ends or how it is routed must not follow the body,
+// when that has been decided (RFC 9110 section 6.5.1).
 func (b *Body) addTrailer(line []byte) error {
 	name, value, found := bytes.Cut(line, colon)
 	if !found || !isToken(name) || bytes.ContainsFunc(value, isControl) {
@@ -277,7 +284,7 @@
 	return nil
 }
 
-// AppendChunkHeader appends the head of a chunk of n bytes, 1 at least, to b; behind the bytes CR LF must follow.
+// AppendChunkHeader appends the header of a chunk of n bytes, 1 at least, to b. CR LF must follow the bytes.
 func AppendChunkHeader(b []byte, n int) []byte {
 	return append(strconv.AppendInt(b, int64(n), 16), crlf...)
 }
