--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -18,14 +18,14 @@
 	aborted                 // its connection was closed with it out
 )
 
-// sending is what is out of an attempt.
+// attempt is an engine's attempt on its way to an endpoint and back.
 type attempt struct {
 	instance        *instance
 	endpoint        *endpoint
 	engineAttempt   *engine.Attempt
 	request         *clientRequest
 	incarnation     uint32 // of the instance
-	connIncarnation uint32 // life of the endpoint that its connection belongs to
+	connIncarnation uint32 // incarnation of the endpoint that its connection belongs to
 	startedAt       monotime.Micros
 	phase           attemptPhase
 	job             simendpoint.Job
@@ -52,7 +52,7 @@
 	return s.request.operation.ID, uint64(s.request.Number)<<8 | uint64(s.engineAttempt.Number)
 }
 
-// way is how long a message between the instance and the endpoint takes.
+// delay is how long a message between the instance and the endpoint takes.
 func (s *attempt) delay(what uint64) monotime.Micros {
 	who, which := s.randKey()
 	r := s.instance.run
@@ -109,7 +109,7 @@
 	}
 }
 
-// evict closes the kept connection that was used longest ago.
+// closeOldestIdle closes the idle connection that was used longest ago, and reports whether there was one.
 func (in *instance) closeOldestIdle() bool {
 	oldest := -1
 	for n, all := range in.idleUpstream {
@@ -153,7 +153,7 @@
 	r.events.push(r.now+s.delay(1), attemptAtEndpoint, 0, s)
 }
 
-// unconnected ends an attempt that has no connection.
+// dialFailed ends an attempt that has no connection.
 func (s *attempt) dialFailed() {
 	if s.incarnation != s.instance.incarnation {
 		return
@@ -167,7 +167,7 @@
 	}
 }
 
-// keep gives the connection back for the next.
+// keepConn gives the connection back for the next.
 func (s *attempt) keepConn() {
 	in := s.instance
 	in.idleUpstream[s.endpoint.index] = append(in.idleUpstream[s.endpoint.index],
@@ -200,7 +200,7 @@
 	in.advanceEngine()
 }
 
-// shut keeps in what has not gone out.
+// cancelUnsent cancels an attempt that was not sent yet, and reports whether it could.
 func (s *attempt) cancelUnsent() bool {
 	if s.phase == connecting {
 		s.phase = notSent
@@ -208,7 +208,7 @@
 	return s.phase == notSent
 }
 
-// withdraw ends the attempt: nobody waits for it. A connection with something out on it is closed.
+// abort ends the attempt, for whose result nobody waits. A connection with a request in flight is closed.
 func (s *attempt) abort() {
 	if !s.awaited {
 		return
@@ -221,7 +221,7 @@
 	}
 }
 
-// reach is the request's arrival at the endpoint.
+// arriveAtEndpoint is the request's arrival at the endpoint.
 func (s *attempt) arriveAtEndpoint() {
 	r := s.instance.run
 	e := s.endpoint
@@ -267,7 +267,7 @@
 	}
 }
 
-// kindOf is what kind of arrival an attempt is, by its number among its request's.
+// arrivalKind is what kind of arrival an attempt is, by its number among its request's.
 func arrivalKind(attempt int) measure.Arrival {
 	if attempt == 0 {
 		return measure.FirstAttempt
@@ -275,7 +275,7 @@
 	return measure.ExtraAttempt
 }
 
-// planClass is the place among the plan's classes of one of the judge's.
+// planClass is the place among the plan's classes of one of the criteria's.
 func (r *run) planClass(class int) int {
 	for i, at := range r.criteriaClass {
 		if at == class {
@@ -295,7 +295,7 @@
 	r.events.push(r.now+s.delay(2)+s.instance.overhead(), replyAtInstance, 0, s)
 }
 
-// replied is the reply's arrival at the instance.
+// replyArrived is the reply's arrival at the instance.
 func (s *attempt) replyArrived() {
 	if s.incarnation != s.instance.incarnation || s.phase != sent {
 		return // nobody waits for it, and its connection is closed
@@ -311,7 +311,7 @@
 	s.end(s.status)
 }
 
-// closed is when the endpoint sees that nobody waits any more.
+// abortNoticed runs when the endpoint sees that its connection was closed.
 func (s *attempt) abortNoticed() {
 	if s.endpoint.unreachable || s.connIncarnation != s.endpoint.incarnation {
 		return
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -11,7 +11,8 @@
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// truth is how things stand with the endpoints, and what discovery has heard of it.
+// discoveryService is the source of the instances' endpoint lists, with the state of the endpoints that it was notified
+// of.
 type discoveryService struct {
 	run                *run
 	endpoints          []engine.EndpointInfo // as discovery has it
@@ -45,7 +46,7 @@
 	return t
 }
 
-// group returns the endpoints that share which keys they have seen: for as long as the longest window of a class.
+// dedupGroup returns the endpoints that share which keys they have seen: for as long as the longest window of a class.
 func (t *discoveryService) dedupGroup(cell int) *simendpoint.DedupGroup {
 	if t.dedupGroups[cell] == nil {
 		var window monotime.Micros
@@ -59,7 +60,7 @@
 	return t.dedupGroups[cell]
 }
 
-// member is an endpoint's entry.
+// endpointInfo is an endpoint's entry.
 func (t *discoveryService) endpointInfo(n int, state balancer.EndpointState) engine.EndpointInfo {
 	p := &t.run.plan.Endpoints[n]
 	return engine.EndpointInfo{
@@ -73,15 +74,15 @@
 	}
 }
 
-// news is a word of discovery to an instance.
+// watchEvent is an update of the endpoint list on its way to an instance.
 type watchEvent struct {
 	instance    *instance
 	incarnation uint32
 	update      engine.EndpointUpdate
 }
 
-// change tells discovery how it now stands with an endpoint, after the time that it takes to hear of it. vanished says
-// that nobody told it: the endpoint has fallen silent.
+// endpointChanged tells discovery how it now stands with an endpoint, after the time that it takes to hear of it.
+// vanished says that nobody told it: the endpoint has fallen silent.
 func (t *discoveryService) endpointChanged(n int, state balancer.EndpointState, vanished bool) {
 	r := t.run
 	d := &t.run.plan.Discovery
@@ -98,7 +99,7 @@
 	lo := float64(after.From.Microseconds())
 	hi := float64(after.To.Microseconds())
 	heard := r.now + monotime.Micros(lo+(hi-lo)*t.random.For(uint64(n), t.changes).Float64()) + t.extraDelay
-	heard = max(heard, t.lastChangeAt[n]+1) // its words keep their order
+	heard = max(heard, t.lastChangeAt[n]+1) // its messages keep their order
 	t.lastChangeAt[n] = heard
 	m := t.endpointInfo(n, state)
 	if state == balancer.Ready {
@@ -107,7 +108,7 @@
 	r.events.push(heard, discoveryNotified, uint32(n), m)
 }
 
-// hear is the arrival of a word at discovery, which passes it on.
+// publish records an endpoint's new state and sends it to the subscribed instances.
 func (t *discoveryService) publish(n int, m engine.EndpointInfo) {
 	t.endpoints[n] = m
 	t.generation++
@@ -129,7 +130,7 @@
 	}
 }
 
-// send sends a word on its way; an instance hears them in their order.
+// send sends a message on its way; an instance hears them in their order.
 func (t *discoveryService) send(x *watchEvent) {
 	in := x.instance
 	spread := float64(t.run.plan.Discovery.Spread.Micros())
@@ -150,7 +151,8 @@
 	w.instance.advanceEngine()
 }
 
-// hears ends what kept discovery's words from an instance: it is told what it missed, or all if it knows nothing.
+// resumeDiscovery ends what kept discovery's events from an instance: it is told what it missed, or all if it knows
+// nothing.
 func (in *instance) resumeDiscovery() {
 	if in.discoveryBlocks--; in.discoveryBlocks > 0 || in.down {
 		return
@@ -167,7 +169,7 @@
 	}
 }
 
-// tell tells an instance's engine.
+// updateEndpoints gives an update of the list to the instance's engine.
 func (in *instance) updateEndpoints(t engine.EndpointUpdate) {
 	in.hasEndpointList = true
 	for _, m := range t.Endpoints {
@@ -184,7 +186,7 @@
 	in.pool.UpdateEndpoints(in.localTime(), t)
 }
 
-// knows says whether an instance is told of an endpoint.
+// subscribedTo reports whether the instance's list has an endpoint.
 func (in *instance) subscribedTo(n int) bool {
 	mine := in.run.plan.Instances[in.index].Endpoints
 	if mine == nil {
@@ -194,7 +196,7 @@
 	return found
 }
 
-// whole is the whole list for an instance.
+// snapshot is the complete endpoint list for an instance.
 func (t *discoveryService) snapshot(in *instance) engine.EndpointUpdate {
 	told := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: t.generation}
 	if mine := t.run.plan.Instances[in.index].Endpoints; mine != nil {
@@ -219,7 +221,7 @@
 	return told
 }
 
-// watch is what a balancer asks for that has to ask: it is answered with the whole list, or not at all.
+// setWatch is what a balancer asks for that has to ask: it is answered with the whole list, or not at all.
 func (in *instance) setWatch(on bool) {
 	if !on || !in.run.settings.Site.Settings.Subscribe {
 		return
@@ -232,7 +234,7 @@
 	in.run.events.push(in.run.now+1000, watchEventArrives, 0, x)
 }
 
-// speak ends discovery's silence: what it has held back it says now.
+// resume sends what was held back while discovery was silent.
 func (t *discoveryService) resume() {
 	t.silent = false
 	for _, x := range t.heldBack {
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -23,7 +23,7 @@
 	pauses   uint64  // pauses so far
 }
 
-// linesMost is of how many endpoints at most it is noted when requests came.
+// maxEndpointsWithArrivals is of how many endpoints at most it is noted when requests came.
 const maxEndpointsWithArrivals = 100
 
 func newEndpoint(r *run, n int) *endpoint {
@@ -58,14 +58,14 @@
 	return v
 }
 
-// work takes what has ended by now.
+// advance handles the jobs that have ended by now.
 func (e *endpoint) advance() {
 	for _, x := range e.model.Advance(e.run.now) {
 		e.jobEnded(x)
 	}
 }
 
-// arm schedules the next end.
+// scheduleWakeup schedules the next end.
 func (e *endpoint) scheduleWakeup() {
 	if at, ok := e.model.NextCompletion(); ok && (e.wakeupAt == 0 || at < e.wakeupAt) {
 		e.wakeupAt = max(at, e.run.now)
@@ -85,7 +85,7 @@
 	e.scheduleWakeup()
 }
 
-// ended tells what came of a request.
+// jobEnded counts a finished job and sends its reply.
 func (e *endpoint) jobEnded(x simendpoint.Completion) {
 	s := x.Job.HostData.(*attempt)
 	m := &e.run.meter.Costs
@@ -116,7 +116,7 @@
 	}
 }
 
-// disconnect closes a connection that was opened in a life of the endpoint.
+// disconnect closes a connection that was opened in an incarnation of the endpoint.
 func (e *endpoint) disconnect(incarnation uint32) {
 	if incarnation == e.incarnation {
 		e.model.Disconnect()
@@ -143,7 +143,7 @@
 	if silent {
 		return
 	}
-	for _, in := range e.run.instances { // kept connections are seen to be closed
+	for _, in := range e.run.instances { // idle connections are seen to be closed
 		in.upstreamConns -= len(in.idleUpstream[e.index])
 		delete(in.idleUpstream, e.index)
 	}
@@ -183,7 +183,7 @@
 	}
 }
 
-// nextPause schedules the next moment at which it stops.
+// schedulePause schedules the next moment at which it stops.
 func (e *endpoint) schedulePause() {
 	p := &e.run.plan.Endpoints[e.index]
 	e.pauses++
--- a/internal/simulation/eventqueue.go
+++ b/internal/simulation/eventqueue.go
@@ -12,8 +12,8 @@
 	target any
 }
 
-// queue holds the events to come: a heap of four, which touches less memory than one of two (Larkin, Sen, Tarjan: "A
-// back-to-basics empirical study of priority queues", 2014).
+// eventQueue holds the events to come: a heap of four, which touches less memory than one of two (Larkin, Sen, Tarjan:
+// "A back-to-basics empirical study of priority queues", 2014).
 type eventQueue struct {
 	heap  []event
 	order uint64
--- a/internal/simulation/events.go
+++ b/internal/simulation/events.go
@@ -7,36 +7,39 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// kind is what kind of event happens.
+// eventKind is what kind of event happens.
 type eventKind uint8
 
 const (
-	operationArrives    eventKind = iota // n: an instance; the next story begins there
-	requestRetried                       // p: *story; its next try begins
-	requestAtInstance                    // p: *try; its request is whole at the instance
-	connRejected                         // p: *try; the instance's machine refuses its connection
-	responseAtClient                     // p: *try; its answer is at the client
-	clientConnReset                      // p: *try; the client sees its connection break
-	clientTimeout                        // p: *try; the client has waited long enough, or leaves
-	instanceWakeup                       // p: *instance; its engine has something due
-	attemptConnected                     // p: *sending; its connection stands, at the instance
-	dialFailed                           // p: *sending; it has none
-	attemptAtEndpoint                    // p: *sending; it is at the endpoint
-	replyAtInstance                      // p: *sending; its reply is at the instance
-	attemptAborted                       // p: *sending; the endpoint sees that its sender has gone
-	endpointWakeup                       // n: an endpoint that has finished something
-	probeAtEndpoint                      // p: *probe; it is at the endpoint
-	probeReplied                         // p: *probe; its answer is at the instance
-	discoveryNotified                    // n: an endpoint, p: engine.Member; discovery hears how it stands with it
-	watchEventArrives                    // p: *news; discovery's word is at an instance
-	plannedEventStarts                   // n: a happening begins
-	plannedEventEnds                     // n: a happening ends
-	plannedEventSteps                    // n: a happening goes on, at its next endpoint or phase; p: how far
-	endpointStarts                       // n: an endpoint starts
-	instanceRestarts                     // p: *instance; it starts anew
-	endpointPauses                       // n: an endpoint stops for a moment
-	fleetMessageArrives                  // p: *word; it is at its instance
-	clientGoneNoticed                    // p: *try; its instance goes on and sees that its client has left
+	operationArrives  eventKind = iota // index: an instance; the next operation begins there
+	requestRetried                     // target: *operation; its next request begins
+	requestAtInstance                  // target: *clientRequest; its request is whole at the instance
+	connRejected                       // target: *clientRequest; the instance's machine rejects its connection
+	responseAtClient                   // target: *clientRequest; its answer is at the client
+	clientConnReset                    // target: *clientRequest; the client sees its connection break
+	clientTimeout                      // target: *clientRequest; the client has waited long enough, or leaves
+	instanceWakeup                     // target: *instance; its engine has something due
+	attemptConnected                   // target: *attempt; its connection stands, at the instance
+	dialFailed                         // target: *attempt; it has none
+	attemptAtEndpoint                  // target: *attempt; it is at the endpoint
+	replyAtInstance                    // target: *attempt; its reply is at the instance
+	attemptAborted                     // target: *attempt; the endpoint sees that its sender has gone
+	endpointWakeup                     // index: an endpoint that has finished something
+	probeAtEndpoint                    // target: *probe; it is at the endpoint
+	probeReplied                       // target: *probe; its answer is at the instance
+	// index: an endpoint, target: engine.EndpointInfo; discovery hears how it stands with it
+	discoveryNotified
+	watchEventArrives  // target: *watchEvent; a discovery event is at an instance
+	plannedEventStarts // index: a planned event begins
+	plannedEventEnds   // index: a planned event ends
+	// index: a planned event goes on, at its next endpoint or phase; target: how far
+	plannedEventSteps
+	endpointStarts      // index: an endpoint starts
+	instanceRestarts    // target: *instance; it starts anew
+	endpointPauses      // index: an endpoint stops for a moment
+	fleetMessageArrives // target: *fleetMessage; it is at its instance
+	// target: *clientRequest; its instance goes on and sees that its client has left
+	clientGoneNoticed
 )
 
 // play handles events until there are none that matter any more.
@@ -127,7 +130,7 @@
 	}
 }
 
-// host is the instance whose process handles an event, nil for what happens elsewhere.
+// handlingInstance is the instance whose process handles an event, nil for what happens elsewhere.
 func handlingInstance(e *event) *instance {
 	switch e.kind {
 	case requestAtInstance, clientGoneNoticed:
--- a/internal/simulation/fleetmessages.go
+++ b/internal/simulation/fleetmessages.go
@@ -9,7 +9,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// This file carries the words between instances.
+// This file carries the messages between instances.
 
 // instanceName is how instances call one another, and how a file names those that lend.
 func instanceName(n int) string { return fmt.Sprint("instance-", n) }
@@ -20,14 +20,14 @@
 	return names[:max(0, n-1+n%2)]
 }
 
-// word is on its way from one instance to another.
+// fleetMessage is on its way from one instance to another.
 type fleetMessage struct {
 	from, to    *instance
 	incarnation uint32 // of the one that it is for
 	message     coordination.Message
 }
 
-// join has an engine decide together with the others, where that is set.
+// joinFleet has an engine decide together with the others, where that is set.
 func (in *instance) joinFleet() error {
 	if in.run.settings.Coordination == nil {
 		return nil
@@ -46,7 +46,7 @@
 	return in.engine.JoinFleet(t)
 }
 
-// tellWord sends a word on its way. What is said while a process is stopped was said before: it goes out.
+// sendFleetMessage sends a message on its way. What is said while a process is stopped was said before: it goes out.
 func (in *instance) sendFleetMessage(to string, w coordination.Message) {
 	r := in.run
 	text, ok := strings.CutPrefix(to, "instance-")
@@ -72,7 +72,7 @@
 	}
 }
 
-// replaced has another process take over from the instance's while it serves. Of that only the place among the others
+// upgrade has another process take over from the instance's while it serves. Of that only the place among the others
 // is played: it is given away, and begun anew with what was given.
 func (in *instance) upgrade() {
 	now := in.localTime()
@@ -82,7 +82,7 @@
 	in.advanceEngine()
 }
 
-// arrive hands a word over, unless nothing passes or its instance has begun anew.
+// arrive hands a message over, unless nothing passes or its instance has begun anew.
 func (w *fleetMessage) arrive() {
 	to := w.to
 	r := w.to.run
--- a/internal/simulation/host.go
+++ b/internal/simulation/host.go
@@ -8,13 +8,13 @@
 	"dunlinsail/internal/monotime"
 )
 
-// target is an endpoint, as an instance knows it.
+// upstreamTarget is an endpoint, as an instance knows it.
 type upstreamTarget struct{ endpoint *endpoint }
 
 // Drop does nothing: what is kept to an endpoint that has gone grows old.
 func (upstreamTarget) Drop() {}
 
-// Target finds an endpoint by its address, which is its place.
+// NewTarget finds an endpoint by its address, which is its place.
 func (in *instance) NewTarget(addr string) engine.Target {
 	place, err := strconv.Atoi(addr)
 	if err != nil {
@@ -23,23 +23,23 @@
 	return upstreamTarget{in.run.endpoints[place]}
 }
 
-// Start starts an attempt.
+// StartAttempt sends an attempt to its endpoint.
 func (in *instance) StartAttempt(a *engine.Attempt) { newAttempt(in, a).start() }
 
-// Shut keeps in what has not gone out.
+// CancelUnsent cancels an attempt that was not sent yet, and reports whether it could.
 func (in *instance) CancelUnsent(a *engine.Attempt) bool {
 	s, ok := a.HostData.(*attempt)
 	return !ok || s.cancelUnsent()
 }
 
-// Withdraw ends an attempt.
+// AbortAttempt ends an attempt.
 func (in *instance) AbortAttempt(a *engine.Attempt) {
 	if s, ok := a.HostData.(*attempt); ok {
 		s.abort()
 	}
 }
 
-// Silent forgets kept connections that were last used before the attempt began.
+// AttemptTimedOut forgets idle connections that were last used before the attempt began.
 func (in *instance) AttemptTimedOut(a *engine.Attempt) {
 	s, ok := a.HostData.(*attempt)
 	if !ok {
@@ -58,10 +58,10 @@
 	in.idleUpstream[s.endpoint.index] = left
 }
 
-// Probe asks an endpoint for its load.
+// StartProbe sends a health check to an endpoint, which replies with its load report.
 func (in *instance) StartProbe(p *engine.Pool, e *engine.Endpoint) { newProbe(in, e) }
 
-// Answer sends a client its answer.
+// Respond sends the response to the client.
 func (in *instance) Respond(c *engine.Call, a engine.Response) {
 	t := c.HostData.(*clientRequest)
 	r := in.run
@@ -80,7 +80,7 @@
 	r.events.push(r.now+r.network.clientDelay(t.operation.ID, t.Number, true)+in.overhead(), responseAtClient, 0, t)
 }
 
-// Ready needs no word to anybody.
+// EndpointReady does nothing: nobody waits for it here.
 func (in *instance) EndpointReady() {}
 
 // Log tells what an instance logs.
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -23,7 +23,7 @@
 	down        bool
 
 	frozenUntil     monotime.Micros // it is stopped until then
-	discoveryBlocks int             // what keeps discovery's words from it
+	discoveryBlocks int             // what keeps discovery's events from it
 	heldEvents      []*watchEvent   // meanwhile
 
 	engine   *engine.Engine
@@ -52,7 +52,7 @@
 // clientConn is a client's connection.
 type clientConn struct{ process int }
 
-// kept is a connection to an endpoint that is kept.
+// idleConn is an idle connection to an endpoint.
 type idleConn struct {
 	endpointIncarnation uint32 // the endpoint's when it was opened
 	idleSince           monotime.Micros
@@ -183,7 +183,7 @@
 	in.engine = nil
 }
 
-// local is what the instance's clock tells.
+// localTime is what the instance's clock tells.
 func (in *instance) localTime() monotime.Micros { return in.clockAt(in.run.now) }
 
 func (in *instance) clockAt(at monotime.Micros) monotime.Micros {
@@ -191,7 +191,7 @@
 	return clockOrigin + p.Skew + at + monotime.Micros(p.Drift*float64(at))
 }
 
-// world is when the instance's clock will tell an instant, at the earliest.
+// worldTime is when the instance's clock will tell an instant, at the earliest.
 func (in *instance) worldTime(local monotime.Micros) monotime.Micros {
 	p := &in.run.plan.Instances[in.index]
 	at := monotime.Micros(float64(local-clockOrigin-p.Skew) / (1 + p.Drift))
@@ -201,7 +201,7 @@
 	return at
 }
 
-// settle does what is due after an event, and schedules what comes next.
+// advanceEngine runs the engine's due timers, and schedules the wake-up for the next one.
 func (in *instance) advanceEngine() {
 	for in.engine != nil {
 		at, ok := in.engine.Next()
--- a/internal/simulation/instances_test.go
+++ b/internal/simulation/instances_test.go
@@ -9,7 +9,7 @@
 	calm := figures("")
 	for _, c := range []struct {
 		event string
-		// served at most and at least, and attempts for each story at least, as parts of calm
+		// served at most and at least, and attempts for each operation at least, as parts of calm
 		served, least, attempts float64
 	}{
 		{"what = \"freeze\"\nat = \"1s\"\nfor = \"6s\"", 0.6, 0.4, 0.4},
--- a/internal/simulation/measure/arrivals.go
+++ b/internal/simulation/measure/arrivals.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// one counts one more of a second at an endpoint, and returns how many there are. They need not come in order.
+// countAt counts one more of a second at an endpoint, and returns how many there are. They need not come in order.
 func countAt(all [][]uint32, n monotime.Micros, node int) int {
 	for len(all[n]) <= node {
 		all[n] = append(all[n], 0)
--- a/internal/simulation/measure/faults_test.go
+++ b/internal/simulation/measure/faults_test.go
@@ -9,8 +9,8 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// judged is a run of ten seconds of two classes, of which the first is worth ten times as much for its work; serve
-// says, by second and class, whether its stories are served.
+// judged is a run of ten seconds of two classes, of which the first weighs ten times as much for its work; serve
+// says, by second and class, whether its operations are served.
 func judged(serve func(second, class int) bool, reached func(instance int, at monotime.Micros) bool,
 	arrive func(m *Meter)) map[string]float64 {
 	m := New(Criteria{Classes: []balancer.Class{{
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -1,7 +1,8 @@
-// Package measure judges a run as the users do: service is the worth answered within each class's aim over the worth
-// asked for, from the first second, with a client's retries counted as part of its first try; of the whole run, its
-// worst ten seconds, its worst class and its worst tenant within its share, weighed by the site's goal and less the
-// site's prices. It counts what cost and what broke beside that. It knows stories, and nothing of how they were played.
+// Package measure evaluates a run as its users do. Service is the priority weight served within each class's latency
+// objective over the weight requested, from the first second on; a client's retries count as part of the operation.
+// It is taken of the whole run, its worst ten seconds, its worst class and its worst tenant within its quota, combined
+// by the site's goal and less the site's prices. Costs and broken rules are counted beside that. The package handles
+// finished operations and must not import package simulation.
 package measure
 
 import (
@@ -21,9 +22,9 @@
 
 // Criteria is by what a run is judged.
 type Criteria struct {
-	Classes         []balancer.Class  // in the order of the stories' classes
-	Tenants         []balancer.Tenant // in the order of the stories' tenants
-	OverQuotaWeight float64           // what a tenant's request beyond its allowance is worth
+	Classes         []balancer.Class  // in the order of the operations' classes
+	Tenants         []balancer.Tenant // in the order of the operations' tenants
+	OverQuotaWeight float64           // what a tenant's request beyond its allowance weighs
 	Goal            balancer.Goal
 	Prices          balancer.Prices
 	// of tenants, by name: requests a second that are let in over all instances; 0 is no limit
@@ -35,28 +36,28 @@
 	maxBins            = 120
 )
 
-// Costs is what the stories of a run have cost, and what broke.
+// Costs is what the operations of a run have cost, and what broke.
 type Costs struct {
 	ClientRequests int64   `json:"Tries"`    // requests that clients sent
-	Attempts       int64   `json:"Attempts"` // that instances sent on
+	Attempts       int64   `json:"Attempts"` // that instances forwarded
 	CrossZone      int64   `json:"Cross"`    // of these, to another zone
 	Dials          int64   `json:"Dials"`    // new connections to endpoints
 	Probes         int64   `json:"Probes"`
-	OfferedWork    float64 `json:"Offered"`   // work of all stories, once each, in microseconds
+	OfferedWork    float64 `json:"Offered"`   // work of all operations, once each, in microseconds
 	ExecutedWork   float64 `json:"Worked"`    // by endpoints
 	UsefulWork     float64 `json:"Useful"`    // of this, for answers that clients took
 	Decisions      int64   `json:"Decisions"` // requests, outcomes, probes and timers that instances decided on
 
 	// Rules that were broken.
-	Collapses int64 `json:"Falls"` // endpoints pushed over while cold
+	Collapses int64 `json:"Falls"` // endpoints pushed over while warming up
 	// attempts that reached an endpoint past the grace after its instance knew that it drains
 	AttemptsAfterDrain int64 `json:"Drained"`
-	DuplicateEffects   int64 `json:"Twice"`      // stories that took effect more than once by their instances' doing
+	DuplicateEffects   int64 `json:"Twice"`      // operations that took effect more than once by their instances' doing
 	LateResponses      int64 `json:"LateAnswer"` // final answers that came after the client's deadline, or not at all
 
-	// stories that took effect more than once by their clients' own tries
+	// operations that took effect more than once by their clients' own requests
 	ClientDuplicateEffects int64 `json:"ClientsTwice"`
-	KilledInFlight         int64 `json:"KilledOpen"` // tries that instances held when they were killed
+	KilledInFlight         int64 `json:"KilledOpen"` // requests that instances held when they were killed
 	FleetMessages          int64 `json:"Words"`      // that instances told one another
 }
 
@@ -73,10 +74,11 @@
 	seconds       []weightSum
 	quotaSpending quotaSpending
 	maintenance   map[string]float64
-	tenantDemand  map[int][]int // stories of each tenant that began in each second
+	tenantDemand  map[int][]int // operations of each tenant that began in each second
 	total         weightSum
 	clients       map[[2]int]*clientTotals // by instance and process
-	lateFailures  float64                  // worth that was unserved when its aim had passed, and not given up before
+	// worth that was unserved when its latency objective had passed, and not given up before
+	lateFailures  float64
 	outcomes      [simclient.OutcomeCount]int64
 	operations    int64
 	requests      struct{ refused, failed, lost int64 }
@@ -92,7 +94,7 @@
 
 type groupTotals struct{ weightSum }
 
-// client is what one client process asked for and got.
+// clientTotals is what one client process asked for and got.
 type clientTotals struct {
 	weightSum
 	operations int64
@@ -112,7 +114,7 @@
 	zones                                                                []weightSum
 }
 
-// New returns a meter of a run in which stories begin before an instant.
+// New returns a meter of a run in which operations begin before an instant.
 func New(j Criteria, length monotime.Micros, zones int) *Meter {
 	m := &Meter{criteria: j, end: length, digest: xxhash.New(), clients: map[[2]int]*clientTotals{}}
 	m.binWidth = max(second, (length+maxBins-1)/maxBins)
@@ -144,7 +146,7 @@
 // Bin is how long the bins of the series are.
 func (m *Meter) Bin() monotime.Micros { return m.binWidth }
 
-// Weight is what a story is worth, which is settled as it begins: beyond its tenant's allowance it is worth less.
+// Weight is what an operation weighs, which is settled as it begins: beyond its tenant's allowance it weighs less.
 func (m *Meter) Weight(s *simclient.Operation) (weight float64, within bool) {
 	weight = m.criteria.Classes[s.Class].PriorityWeight
 	if s.Tenant < 0 || s.Tenant >= len(m.allowances) || m.criteria.Tenants[s.Tenant].Quota <= 0 {
@@ -162,7 +164,8 @@
 	return weight, true
 }
 
-// OperationEnded takes in a story that has ended, with what Worth returned of it as it began. zone is its instance's.
+// OperationEnded takes in an operation that has ended, with what Weight returned of it as it began. zone is its
+// instance's.
 func (m *Meter) OperationEnded(s *simclient.Operation, zone int, weight float64, within bool) {
 	c := &m.criteria.Classes[s.Class]
 	took := s.EndedAt - s.StartedAt
--- a/internal/simulation/measure/priorityaudit.go
+++ b/internal/simulation/measure/priorityaudit.go
@@ -14,10 +14,10 @@
 	Serving  func(instance int, at monotime.Micros) bool // whether an instance takes requests
 }
 
-// work is the work of a class's stories that began in a second, and what of it was served.
+// classWork is the work of a class's operations that began in a second, and what of it was served.
 type classWork struct{ offered, served, weight float64 }
 
-// weigher counts work, second by second and class by class.
+// priorityAudit counts work, second by second and class by class.
 type priorityAudit struct {
 	environment Environment
 	seconds     [][]classWork
@@ -31,7 +31,8 @@
 	}
 }
 
-// done takes in a story. What began at an instance that takes nothing could not be served: it is left out.
+// operationEnded takes in an operation. What began at an instance that takes nothing could not be served: it is left
+// out.
 func (x *priorityAudit) operationEnded(s *simclient.Operation, weight float64, onTime bool) {
 	if x == nil || !x.environment.Serving(s.Instance, s.StartedAt) {
 		return
--- a/internal/simulation/measure/quotaspending.go
+++ b/internal/simulation/measure/quotaspending.go
@@ -6,7 +6,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// spending is what instances spent of the fleet's budgets, by budget: the instants of units.
+// quotaSpending is what instances spent of the fleet's budgets, by budget: the instants of units.
 type quotaSpending map[string][]monotime.Micros
 
 // QuotaSpent tells that an instance spent a unit of a budget.
@@ -52,7 +52,7 @@
 	}
 }
 
-// useFrom is how many times its limit a tenant must ask for in a second for all of it to be wanted.
+// contendedDemand is how many times its limit a tenant must ask for in a second for all of it to be wanted.
 const contendedDemand = 1.2
 
 // PeakSecond returns how many of instants in order lie within any second, and how many of them came beyond a limit of a
--- a/internal/simulation/measure/result.go
+++ b/internal/simulation/measure/result.go
@@ -16,12 +16,12 @@
 type Result struct {
 	Scenario string `json:"Scenario"`
 	Seed     uint64 `json:"Seed"`
-	Digest   string `json:"Digest"` // of all that became of all stories: runs that are the same have the same
+	Digest   string `json:"Digest"` // of all that became of all operations: runs that are the same have the same
 
 	Figures    map[string]float64 `json:"Figures"` // by the names in Figures
 	Costs      Costs              `json:"Costs"`
 	Operations int64              `json:"Stories"`
-	Served     int64              `json:"Served"` // within the aim or after it
+	Served     int64              `json:"Served"` // within the latency objective or after it
 	Series     Series             `json:"Series"`
 	Endpoints  []EndpointLoad     `json:"Nodes"`
 	Classes    []ClassLatency     `json:"Classes"`
@@ -33,12 +33,12 @@
 type Series struct {
 	Bin      monotime.Micros `json:"Bin"`
 	Service  []float64       `json:"Service"`
-	Offered  []float64       `json:"Asked"` // stories a second
-	OnTime   []float64       `json:"Good"`  // served within the aim, a second
+	Offered  []float64       `json:"Asked"` // operations a second
+	OnTime   []float64       `json:"Good"`  // served within the latency objective, a second
 	Late     []float64       `json:"Late"`
 	Unserved []float64       `json:"Lost"`    // unserved, a second
-	Rejected []float64       `json:"Refused"` // tries refused, a second
-	Failed   []float64       `json:"Failed"`  // tries failed or lost, a second
+	Rejected []float64       `json:"Refused"` // requests rejected, a second
+	Failed   []float64       `json:"Failed"`  // requests failed or lost, a second
 	P50      []float64       `json:"P50"`     // milliseconds
 	P99      []float64       `json:"P99"`
 	Class    [][]float64     `json:"Class"` // service of each class
@@ -56,7 +56,7 @@
 	Arrivals []int64 `json:"Line,omitempty"`
 }
 
-// ClassLatency is how long a class's stories took that were served: pairs of a part of them and milliseconds.
+// ClassLatency is how long a class's operations took that were served: pairs of a part of them and milliseconds.
 type ClassLatency struct {
 	Name      string       `json:"Name"`
 	Count     int64        `json:"Count"`
@@ -142,11 +142,11 @@
 	return r
 }
 
-// modestPart is how many times as much as the median client of its instance one may ask for and still be modest.
+// modestFactor is how many times as much as the median client of its instance one may ask for and still be modest.
 const modestFactor = 2
 
-// modest is what those clients got that ask for no more than others: their service, and the time in milliseconds within
-// which 99 in 100 of their answers came.
+// modestClients is what those clients got that ask for no more than others: their service, and the time in milliseconds
+// within which 99 in 100 of their answers came.
 func (m *Meter) modestClients() (service, p99 float64) {
 	// In order, since sums of fractions depend on it.
 	order := slices.SortedFunc(maps.Keys(m.clients), func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
@@ -193,7 +193,7 @@
 	return float64(h.ValueAtQuantile(q)) / 1000
 }
 
-// worst is the least share over any ten seconds that begin with a second, or over all where there are fewer.
+// worstWindowShare is the least share over any ten seconds that begin with a second, or over all where there are fewer.
 func (m *Meter) worstWindowShare() float64 {
 	worst := 1.0
 	var in weightSum
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -49,7 +49,7 @@
 	return max(1, monotime.Micros(math.Round(d)))
 }
 
-// client is the way between a client and its instance, there or back.
+// clientDelay is the way between a client and its instance, there or back.
 func (n *network) clientDelay(operation uint64, request int, back bool) monotime.Micros {
 	way := uint64(request) << 1
 	if back {
@@ -58,7 +58,7 @@
 	return n.delay(n.meanDelay[0], 0, operation, way)
 }
 
-// between is the way between an instance and an endpoint; what is 0, 1, 2 for the steps of one attempt or probe.
+// endpointDelay is the way between an instance and an endpoint; what is 0, 1, 2 for the steps of one attempt or probe.
 func (n *network) endpointDelay(a, b int, who, which, what uint64) monotime.Micros {
 	mean := n.meanDelay[2]
 	if a == b {
@@ -67,7 +67,7 @@
 	return n.delay(mean, 1, who, which, what)
 }
 
-// cut says whether nothing comes through between an instance and an endpoint, towards the endpoint or back.
+// pathBlocked says whether nothing comes through between an instance and an endpoint, towards the endpoint or back.
 func (r *run) pathBlocked(in *instance, e *endpoint, back bool) bool {
 	for _, i := range r.blockingEvents {
 		if r.plan.PlannedEvents[i].Blocks(r.now, in.index, e.index, back) {
@@ -77,12 +77,12 @@
 	return r.network.zonesCut(in.zone, e.zone())
 }
 
-// cutAny says whether a connection cannot be opened: words of both ways are needed for it.
+// dialBlocked says whether a connection cannot be opened: words of both ways are needed for it.
 func (r *run) dialBlocked(in *instance, e *endpoint) bool {
 	return r.pathBlocked(in, e, false) || r.pathBlocked(in, e, true)
 }
 
-// cut says whether nothing comes through between two zones.
+// zonesCut says whether nothing comes through between two zones.
 func (n *network) zonesCut(a, b int) bool {
 	if a == b {
 		return false
--- a/internal/simulation/operation.go
+++ b/internal/simulation/operation.go
@@ -10,18 +10,18 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// story is a client's, with what the run needs of it.
+// operation is a client's operation with the run's own state.
 type operation struct {
 	simclient.Operation
 	run         *run
-	class       *balancer.Class // the judge's
+	class       *balancer.Class // the criteria's
 	weight      float64
 	withinQuota bool
 	ended       bool
 	current     *clientRequest // the present one
 }
 
-// nextStory schedules the next story of an instance.
+// scheduleNextOperation schedules the next operation of an instance.
 func (r *run) scheduleNextOperation(in *instance) {
 	if in.operations == nil {
 		in.operations = r.plan.Operations(in.index)
@@ -36,7 +36,7 @@
 	r.events.push(s.StartedAt, operationArrives, uint32(in.index), nil)
 }
 
-// draws are what a client leaves to chance at a try.
+// clientDraws returns the random numbers for one request of a client.
 func (r *run) clientDraws(s *simclient.Operation, try int) *rand.Rand {
 	return r.clientRand.For(s.ID, uint64(try))
 }
@@ -64,7 +64,7 @@
 	}
 }
 
-// ask sends a try to its instance.
+// send sends a request to its instance.
 func (s *operation) send(t simclient.Request) {
 	r := s.run
 	r.meter.Costs.ClientRequests++
@@ -78,7 +78,7 @@
 	r.events.push(t.Deadline, clientTimeout, 0, x)
 }
 
-// try is one request of a client.
+// clientRequest is one request of a client.
 type clientRequest struct {
 	simclient.Request
 	operation     *operation
@@ -95,7 +95,7 @@
 	effects       int  // of its attempts
 }
 
-// answered takes the instance's answer to the client.
+// responseArrived takes the instance's answer to the client.
 func (t *clientRequest) responseArrived() {
 	r := t.operation.run
 	if t.done {
@@ -114,7 +114,7 @@
 	}
 }
 
-// leave has the client go if it still waits.
+// clientLeaves has the client go if it still waits.
 func (t *clientRequest) clientLeaves() {
 	if t.done {
 		return
@@ -135,7 +135,7 @@
 	t.end(simclient.NoResponse, 0)
 }
 
-// over ends the try for its client.
+// end ends the request for its client.
 func (t *clientRequest) end(v simclient.RequestOutcome, retryAfter monotime.Micros) {
 	if t.done {
 		return
--- a/internal/simulation/plannedevents.go
+++ b/internal/simulation/plannedevents.go
@@ -9,7 +9,7 @@
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// schedule schedules what happens.
+// scheduleEvents schedules the plan's events.
 func (r *run) scheduleEvents() {
 	for i := range r.plan.PlannedEvents {
 		h := &r.plan.PlannedEvents[i]
@@ -20,7 +20,7 @@
 	}
 }
 
-// conditions sets what goes wrong at an endpoint by all that happens now.
+// updateCondition sets an endpoint's condition from all planned events under way.
 func (r *run) updateCondition(n int) {
 	var c simendpoint.Condition
 	for i := range r.plan.PlannedEvents {
@@ -40,7 +40,7 @@
 	e.scheduleWakeup()
 }
 
-// begins has something begin.
+// startEvent starts a planned event.
 func (r *run) startEvent(i int) {
 	h := &r.plan.PlannedEvents[i]
 	switch h.What {
@@ -130,7 +130,7 @@
 	in.kill()
 }
 
-// limits has instances go by other limits of tenants.
+// scaleTenantLimits multiplies the tenants' limits at the event's instances.
 func (r *run) scaleTenantLimits(h *scenario.PlannedEvent, times float64) {
 	var all []float64
 	for _, v := range r.settings.Site.TenantLimits {
@@ -143,7 +143,7 @@
 	}
 }
 
-// ends has something end.
+// endEvent ends a planned event.
 func (r *run) endEvent(i int) {
 	h := &r.plan.PlannedEvents[i]
 	switch h.What {
@@ -192,7 +192,7 @@
 	}
 }
 
-// step goes on with what happens in steps: a neighbour on and off, or endpoints restarted one after another.
+// stepEvent goes on with what happens in steps: a neighbour on and off, or endpoints restarted one after another.
 func (r *run) stepEvent(i, at int) {
 	h := &r.plan.PlannedEvents[i]
 	if r.now >= h.Until {
--- a/internal/simulation/probe.go
+++ b/internal/simulation/probe.go
@@ -7,7 +7,7 @@
 	"dunlinsail/internal/simulation/measure"
 )
 
-// probeTime is how long a probe is waited for.
+// probeTimeout is how long a probe is waited for.
 const probeTimeout = second / 4
 
 // probe is one that is out.
--- a/internal/simulation/randstream/randstream.go
+++ b/internal/simulation/randstream/randstream.go
@@ -1,6 +1,6 @@
-// Package randstream draws the model's random numbers from named streams that do not depend on one another. What a draw
-// is follows from the seed, the stream's name and the numbers that say for whom it is, and from nothing else: not from
-// the order in which things happen. So two variants of a fleet meet the same arrivals, the same work and the same
+// Package randstream draws the simulation's random numbers from named streams that do not depend on one another. What a
+// draw is follows from the seed, the stream's name and the numbers that say for whom it is, and from nothing else: not
+// from the order in which things happen. So two variants of a fleet meet the same arrivals, the same work and the same
 // faults (common random numbers: Law, "Simulation Modeling and Analysis", 5th ed., section 11.2), whatever each makes
 // of them.
 package randstream
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/siteconfig"
 )
 
-// submit hands a try's request to the instance, once it is whole there.
+// submit gives the complete request to the instance's engine.
 func (t *clientRequest) submit() {
 	in := t.instance
 	r := t.operation.run
@@ -52,7 +52,7 @@
 	in.advanceEngine()
 }
 
-// connect finds a connection for a try, or opens one, and says whether there is one.
+// acceptConn finds a connection for a request, or opens one, and says whether there is one.
 func (in *instance) acceptConn(t *clientRequest) bool {
 	now := in.localTime()
 	p := t.operation.Process
@@ -79,7 +79,7 @@
 	return in.connTable.MarkBusy(t.conn)
 }
 
-// drop forgets a client's connection that was closed at rest.
+// forgetIdleClientConn forgets a client's connection that was closed at rest.
 func (in *instance) forgetIdleClientConn(c *connlimit.Conn[*clientConn]) {
 	rest := in.idleClientConns[c.Value.process]
 	for i := range rest {
@@ -90,7 +90,7 @@
 	}
 }
 
-// close takes a try out of those that are open.
+// removeInFlight takes a request out of those that are open.
 func (in *instance) removeInFlight(t *clientRequest) {
 	last := len(in.inFlight) - 1
 	in.inFlight[t.inFlightIndex] = in.inFlight[last]
@@ -99,7 +99,7 @@
 	in.inFlight = in.inFlight[:last]
 }
 
-// record tells of a request that is over.
+// recordRequest reports a finished request to Options.Record.
 func (in *instance) recordRequest(t *clientRequest, left bool) {
 	tell := in.run.options.Record
 	if tell == nil {
@@ -124,7 +124,7 @@
 	})
 }
 
-// left tells the engine that a client has gone.
+// clientGone tells the engine that a client has gone.
 func (in *instance) clientGone(t *clientRequest) {
 	if !t.responded {
 		in.removeInFlight(t)
--- a/internal/simulation/scenario/capacity.go
+++ b/internal/simulation/scenario/capacity.go
@@ -6,13 +6,13 @@
 	"dunlinsail/internal/monotime"
 )
 
-// idealStep is how finely Ideal looks.
+// servableStep is the time resolution of MaxServableShare.
 const servableStep = second / 4
 
-// MaxServableShare estimates the part of the plan's stories that what is left of the endpoints could serve at best: in
-// each moment as much as is asked for, or as the endpoints that are up and known to be can do, each at the speed that
-// it has then. Nobody knows in advance what this takes as known, and stories do not come evenly: it is a bound, not an
-// aim.
+// MaxServableShare estimates the part of the plan's operations that what is left of the endpoints could serve at best:
+// in each moment as much as is asked for, or as the endpoints that are up and known to be can do, each at the speed
+// that it has then. Nobody knows in advance what this takes as known, and operations do not come evenly: it is a bound,
+// not an aim.
 func (p *Plan) MaxServableShare() float64 {
 	var asked, could float64
 	backlog := 0.0
@@ -109,7 +109,7 @@
 	return sum
 }
 
-// warmth is the part of its speed that a node has so long after its start.
+// warmupShare is the part of its speed that a node has so long after its start.
 func (n *Endpoint) warmupShare(age monotime.Micros) float64 {
 	c := &n.Config
 	if c.WarmupDuration <= 0 || age >= c.WarmupDuration {
@@ -118,7 +118,7 @@
 	return c.WarmupFrom + (1-c.WarmupFrom)*float64(age)/float64(c.WarmupDuration)
 }
 
-// left is the part of its speed that an event leaves an endpoint.
+// remainingSpeed is the part of its speed that an event leaves an endpoint.
 func remainingSpeed(h *PlannedEvent, k int, at monotime.Micros) float64 {
 	switch h.What {
 	case "slow", "lies":
--- a/internal/simulation/scenario/draw.go
+++ b/internal/simulation/scenario/draw.go
@@ -135,7 +135,7 @@
 	return mine
 }
 
-// choose returns the endpoints that an event happens to.
+// chooseEndpoints returns the endpoints that an event happens to.
 func (p *Plan) chooseEndpoints(e *Event, r *rand.Rand) []int {
 	var from []int
 	for i, n := range p.Endpoints {
@@ -154,7 +154,7 @@
 	return sample(r, from, n)
 }
 
-// some returns so many of them, drawn without order, in their order.
+// sample returns so many of them, drawn without order, in their order.
 func sample(r *rand.Rand, from []int, n int) (drawn []int) {
 	for _, at := range r.Perm(len(from))[:n] {
 		drawn = append(drawn, from[at])
--- a/internal/simulation/scenario/operations.go
+++ b/internal/simulation/scenario/operations.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// Source gives the stories of an instance in the order in which they begin, in place of those that a plan draws.
+// Source gives the operations of an instance in the order in which they begin, in place of those that a plan draws.
 type Source interface {
 	Operations(instance int) func() (simclient.Operation, bool)
 }
@@ -51,7 +51,7 @@
 	return v
 }
 
-// kinds are whose and what a story may be: a weight for each class, tenant and client process.
+// operationMix are whose and what an operation may be: a weight for each class, tenant and client process.
 type operationMix struct {
 	plan      *Plan
 	instance  int
@@ -86,12 +86,12 @@
 	return k
 }
 
-// of returns class, tenant and process of a place.
+// split returns class, tenant and process of a place.
 func (k *operationMix) split(i int) (class, tenant, process int) {
 	return i / (k.tenants * k.processes), i / k.processes % k.tenants, i % k.processes
 }
 
-// at sets the weights of an instant.
+// setTime sets the weights of an instant.
 func (k *operationMix) setTime(at monotime.Micros) {
 	if !k.surges {
 		return
@@ -115,7 +115,7 @@
 	return k.split(len(k.weights) - 1)
 }
 
-// Operations returns the stories that begin at an instance, one at each call, in their order, until there are none.
+// Operations returns the operations that begin at an instance, one at each call, in their order, until there are none.
 func (p *Plan) Operations(instance int) func() (simclient.Operation, bool) {
 	if p.Source != nil {
 		return p.Source.Operations(instance)
--- a/internal/simulation/scenario/parse.go
+++ b/internal/simulation/scenario/parse.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// ByProcesses says whether what the scenario claims is of something that the model does not play.
+// ByProcesses says whether what the scenario claims is of something that the simulation does not play.
 func (s *Scenario) ByProcesses() bool {
 	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == "work" })
 }
@@ -64,7 +64,7 @@
 	return &s, nil
 }
 
-// basesMost bounds how many scenarios may be based on one another.
+// maxBases bounds how many scenarios may be based on one another.
 const maxBases = 4
 
 // overlay reads a text over what is known already, and checks the whole.
@@ -167,7 +167,7 @@
 	return &c
 }
 
-// fill sets what a kind of endpoints is where its table says nothing.
+// setDefaults sets what a kind of endpoints is where its table says nothing.
 func (n *EndpointKind) setDefaults() {
 	if n.Cores == 0 {
 		n.Cores = 2
--- a/internal/simulation/scenario/plan.go
+++ b/internal/simulation/scenario/plan.go
@@ -17,9 +17,9 @@
 	Endpoints     []Endpoint
 	Instances     []Instance
 	PlannedEvents []PlannedEvent // by their beginning
-	Rate          float64        // stories a second, where the shape is 1
+	Rate          float64        // operations a second, where the shape is 1
 	Capacity      float64        // work that all nodes can do in a microsecond, once warm
-	Source        Source         // of stories; nil is those that the plan draws itself
+	Source        Source         // of operations; nil is those that the plan draws itself
 }
 
 // Endpoint is an endpoint of a plan.
@@ -43,7 +43,7 @@
 	Endpoints []int // that it is told of; nil is all
 }
 
-// MeanWork is the mean work of a story, in microseconds.
+// MeanWork is the mean work of an operation, in microseconds.
 func (s *Scenario) MeanWork() float64 {
 	var work, shares float64
 	for _, c := range s.Classes {
@@ -68,7 +68,7 @@
 	}
 }
 
-// has says whether a sorted list has a number.
+// contains says whether a sorted list has a number.
 func contains(list []int, n int) bool {
 	_, yes := slices.BinarySearch(list, n)
 	return yes
--- a/internal/simulation/scenario/plannedevent.go
+++ b/internal/simulation/scenario/plannedevent.go
@@ -44,7 +44,7 @@
 		contains(h.Instances, instance) && contains(h.Endpoints, node)
 }
 
-// Partitioned says whether no word passes from one instance to another at an instant.
+// Partitioned says whether no message passes from one instance to another at an instant.
 func (p *Plan) Partitioned(now monotime.Micros, from, to int) bool {
 	for i := range p.PlannedEvents {
 		h := &p.PlannedEvents[i]
@@ -73,7 +73,7 @@
 	return 1
 }
 
-// MessageDelay is by how much longer a word of an instance takes at an instant, and whether it comes twice; lots are
+// MessageDelay is by how much longer a message of an instance takes at an instant, and whether it comes twice; lots are
 // three numbers in 0..1 of the word's own.
 func (p *Plan) MessageDelay(now monotime.Micros, from int, draws [3]float64) (more monotime.Micros, twice bool) {
 	for i := range p.PlannedEvents {
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -1,8 +1,8 @@
-// Package scenario reads what a fleet is tried on: endpoints, instances, zones between them, clients and their traffic,
-// discovery, and what goes wrong when. A file is TOML, read strictly; drawn with a seed it becomes a Plan, in which
-// nothing is left to chance but what package randstream draws for each request. A plan depends on nothing that is tried
-// on it: two variants of a fleet are given the same one. It knows nothing of how a plan is played, which package
-// simulation and package live do.
+// Package scenario reads the description of a fleet under test: endpoints, instances, zones, clients and their
+// traffic, discovery, and the events (faults and changes) of the run. A file is TOML, read strictly. Drawn with a seed
+// it becomes a Plan, in which only the draws of package randstream for each request are left open. A plan depends on
+// nothing that is under test, so that two variants of a fleet get the same one. Packages simulation and processes
+// carry a plan out; this package must not import them.
 package scenario
 
 import (
@@ -15,7 +15,7 @@
 	// another scenario, from which everything comes that is not said here
 	Base   string              `toml:"base,omitempty"`
 	About  string              `toml:"about,omitempty"`
-	Length stricttoml.Duration `toml:"length"` // clients begin new stories for so long
+	Length stricttoml.Duration `toml:"length"` // clients begin new operations for so long
 
 	Fleet         Fleet          `toml:"fleet"`
 	Network       Network        `toml:"network"`
@@ -127,7 +127,7 @@
 // Clients are who asks.
 type Clients struct {
 	Load            float64          `toml:"load,omitempty"` // of what all nodes can do once warm; or
-	Rate            float64          `toml:"rate,omitempty"` // stories a second
+	Rate            float64          `toml:"rate,omitempty"` // operations a second
 	Processes       int              `toml:"processes"`
 	Retries         [2]int           `toml:"retries"`
 	TimeoutShare    Range            `toml:"try_share"`
@@ -139,8 +139,8 @@
 	Objects         int              `toml:"objects"` // that requests are about
 }
 
-// Replay has the stories of an access record (package accesslog) begin in place of those that are drawn. Their work is
-// drawn all the same, and their clients try again as this scenario says: a variant is not fed the retries that another
+// Replay has the operations of an access record (package accesslog) begin in place of those that are drawn. Their work
+// is drawn all the same, and their clients retry as this scenario says: a variant is not fed the retries that another
 // caused.
 type Replay struct {
 	From  []string            `toml:"from"`            // folders, or single segments
@@ -207,7 +207,7 @@
 	return [2]float64{float64(s.From.Microseconds()), float64(s.To.Microseconds())}
 }
 
-// what are the events, and for each which of its keys it needs beside what and at.
+// eventKinds are the events, and for each which of its keys it needs beside what and at.
 var eventKinds = map[string]struct {
 	nodes bool // it happens to endpoints
 	size  string
@@ -240,8 +240,9 @@
 	// an operator has them taken out for work, delay each, in real runs of instances that settle the order
 	"work": {true, ""},
 	"liar": {false,
-		"times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody"},
+		"times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody",
+	},
 	"limits": {false, "times the tenants' limits in the files of instances, read again while they serve"},
-	"part":   {false, ""}, // no word passes between instances and the others; every: on and off
+	"part":   {false, ""}, // no message passes between instances and the others; every: on and off
 	"power":  {false, ""}, // all endpoints and instances begin anew at once
 }
--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -78,7 +78,8 @@
 // What a file says goes over its base; lists stand in place of the base's; and what Text says is the same scenario.
 func TestBase(t *testing.T) {
 	base := least + "[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [2.0]\n"
-	s, err := Parse([]byte("name = \"b\"\nbase = \"a\"\n[clients]\nload = 0.5\n[[event]]\nwhat = \"drain\"\nat = \"6s\"\n"),
+	s, err := Parse(
+		[]byte("name = \"b\"\nbase = \"a\"\n[clients]\nload = 0.5\n[[event]]\nwhat = \"drain\"\nat = \"6s\"\n"),
 		func(string) ([]byte, error) { return []byte(base), nil })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/simulation/simclient/operation.go
+++ b/internal/simulation/simclient/operation.go
@@ -1,7 +1,7 @@
-// Package simclient is a client of the fleet as a state machine: what it wants, for how long it waits, and how it tries
-// again by itself. It is free of I/O and reads no clock, so that the same clients ask in simulated time (package
-// simulation) and over sockets (package processes). All its tries for one thing belong to one Story; what a story is
-// worth, package measure says.
+// Package simclient models a client of the fleet as a state machine: what it requests, how long it waits and how it
+// retries. All requests for one purpose belong to one Operation. The package does no I/O and reads no clock, so that
+// the same clients run in simulated time (package simulation) and over sockets (package processes). Package measure
+// says what an operation weighs.
 package simclient
 
 import (
@@ -13,17 +13,18 @@
 
 // Behavior are how clients behave.
 type Behavior struct {
-	Retries         [2]int             // a client tries again so many times at most, drawn between these
-	TimeoutShare    [2]float64         // and waits for each try this part of all the time it has
-	Backoff         [2]monotime.Micros // before the first try of its own again; twice as long before each further one
-	HonorRetryAfter float64            // part of the clients that wait for as long as they are told
-	EarlyAbort      float64            // part of the tries that are left before their time
-	MarkRetries     bool               // tries after the first say so
-	// part of the clients whose tries have a new key each, as if they were new requests
+	Retries      [2]int     // a client requests again so many times at most, drawn between these
+	TimeoutShare [2]float64 // and waits for each request this part of all the time it has
+	// before the first request of its own again; twice as long before each further one
+	Backoff         [2]monotime.Micros
+	HonorRetryAfter float64 // part of the clients that wait for as long as they are told
+	EarlyAbort      float64 // part of the requests that are left before their time
+	MarkRetries     bool    // requests after the first say so
+	// part of the clients whose requests have a new key each, as if they were new requests
 	FreshKeys float64
 }
 
-// Operation is one thing that a client wants, with all its tries.
+// Operation is one thing that a client wants, with all its requests.
 type Operation struct {
 	ID             uint64
 	Instance       int // that it asks
@@ -33,7 +34,7 @@
 	Work           monotime.Micros
 	IdempotencyKey uint64 // keyed classes only
 	Object         uint64
-	StartedAt      monotime.Micros // when its first try began
+	StartedAt      monotime.Micros // when its first request began
 
 	Requests         int // begun
 	Outcome          Outcome
@@ -41,31 +42,31 @@
 	Executions       int             // attempts that were worked at to their end
 	Effects          int             // of these, those that took effect
 	DiscardsResponse bool            // whatever answer comes is no use to the client
-	Rejected         int             // tries that were refused,
+	Rejected         int             // requests that were rejected,
 	Failed           int             // that failed,
-	Unanswered       int             // and that had no answer: the connection broke, or the try was given up
+	Unanswered       int             // and that had no answer: the connection broke, or the request was given up
 
 	maxRetries       int
 	honorsRetryAfter bool
 	freshKeys        bool
 	timeoutShare     float64
 	backoff          monotime.Micros
-	inFlight         bool // a try is under way
+	inFlight         bool // a request is under way
 	requestNumber    int  // its number, from 1
 }
 
-// Outcome is how a story ended.
+// Outcome is how an operation ended.
 type Outcome uint8
 
 // The outcomes.
 const (
 	Pending      Outcome = iota
 	Served               // an answer came
-	Unserved             // none came in all its tries, or in its time
+	Unserved             // none came in all its requests, or in its time
 	OutcomeCount         // how many there are
 )
 
-// RequestOutcome is how one try ended.
+// RequestOutcome is how one request ended.
 type RequestOutcome uint8
 
 // The verdicts.
@@ -80,12 +81,12 @@
 type Request struct {
 	Number         int
 	IdempotencyKey uint64
-	Deadline       monotime.Micros // when the client gives this try up
+	Deadline       monotime.Micros // when the client gives this request up
 	AbortAt        monotime.Micros // it leaves already then; 0 is that it does not
 	Retry          bool            // it says that it is a repetition
 }
 
-// Start draws what a story's client is like, and returns its first try.
+// Start draws what an operation's client is like, and returns its first request.
 func (s *Operation) Start(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
 	s.StartedAt = now
 	s.maxRetries = h.Retries[0] + r.IntN(h.Retries[1]-h.Retries[0]+1)
@@ -96,7 +97,7 @@
 	return s.nextRequest(now, h, c, r)
 }
 
-// Deadline returns when a story is given up at the latest.
+// Deadline returns when an operation is given up at the latest.
 func (s *Operation) Deadline(c *balancer.Class) monotime.Micros { return s.StartedAt + c.ClientTimeout }
 
 func (s *Operation) nextRequest(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
@@ -117,9 +118,9 @@
 	return t
 }
 
-// RequestEnded tells how a try ended; trying again is harmless after a refusal only, and otherwise as the class allows.
-// If again is so, the next try begins at an instant: Again makes it. Of a try that is not the present one nothing is
-// taken in.
+// RequestEnded tells how a request ended; trying again is harmless after a rejection only, and otherwise as the class
+// allows. If again is so, the next request begins at an instant: Again makes it. Of a request that is not the present
+// one nothing is taken in.
 func (s *Operation) RequestEnded(now monotime.Micros, number int, v RequestOutcome, retryAfter monotime.Micros,
 	c *balancer.Class, r *rand.Rand) (at monotime.Micros, again bool) {
 	if !s.inFlight || number != s.requestNumber || s.Outcome != Pending {
@@ -155,7 +156,7 @@
 	return now + wait, true
 }
 
-// Retry makes the next try.
+// Retry makes the next request.
 func (s *Operation) Retry(now monotime.Micros, h *Behavior, c *balancer.Class, r *rand.Rand) Request {
 	return s.nextRequest(now, h, c, r)
 }
--- a/internal/simulation/simclient/operation_test.go
+++ b/internal/simulation/simclient/operation_test.go
@@ -10,8 +10,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// A story has one outcome, no more tries than its client makes, none beyond its time, and no try of an unsafe request
-// after one that may have run.
+// An operation has one outcome, no more requests than its client makes, none beyond its time, and no request of an
+// unsafe request after one that may have run.
 func TestOneOutcome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := Behavior{
--- a/internal/simulation/simendpoint/config.go
+++ b/internal/simulation/simendpoint/config.go
@@ -21,7 +21,7 @@
 	QueueCapacity       int             // requests that may wait
 	WarmupFrom          float64         // the part of its speed that it starts with, 1 for all of it,
 	WarmupDuration      monotime.Micros // and after so long it has all of it
-	CollapseLoad        float64         // sent more than so many times what it can do, while cold,
+	CollapseLoad        float64         // sent more than so many times what it can do, while warming up,
 	CollapseWindow      monotime.Micros // within so long, it falls over; 0 is never
 	Cancellation        Cancellation
 	ErrorRate           float64         // part of its requests that fail
@@ -42,7 +42,7 @@
 	Class          int     // of this class only, where Part is set
 	OneClass       bool
 	UnansweredRate float64         // part of the requests that are never answered
-	RejectRate     float64         // part of the requests that it turns away unseen, although it has room
+	RejectRate     float64         // part of the requests that it rejects unseen, although it has room
 	FalseReports   bool            // its reports say that it holds nothing
 	InvalidReports bool            // its reports say nothing, or what cannot be
 	ReportDelay    monotime.Micros // its reports are older by this
--- a/internal/simulation/simendpoint/dedup.go
+++ b/internal/simulation/simendpoint/dedup.go
@@ -18,7 +18,7 @@
 	return &DedupGroup{window: window, firstSeen: map[uint64]monotime.Micros{}}
 }
 
-// repeat says whether a key is known, and notes it.
+// seenBefore says whether a key is known, and notes it.
 func (g *DedupGroup) seenBefore(now monotime.Micros, key uint64) bool {
 	for len(g.order) > 0 && now-g.firstSeen[g.order[0]] >= g.window {
 		delete(g.firstSeen, g.order[0])
--- a/internal/simulation/simendpoint/endpoint.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -1,7 +1,7 @@
-// Package simendpoint is an endpoint as a state machine: cores that requests queue for, a speed that differs and
-// changes, a warm-up, draining, falling over, connections, keys whose repeats it drops, and reports of its load. It
-// decides nothing for the fleet: it is what the fleet is tried on. It is free of I/O and reads no clock, so that the
-// same endpoint stands in simulated time (package simulation) and behind a socket (package processes).
+// Package simendpoint models an endpoint as a state machine: cores that requests queue for, a speed that changes, a
+// warm-up, draining, collapse under load, connections, idempotency keys whose repeats it drops, and load reports. The
+// package does no I/O and reads no clock, so that the same endpoint runs in simulated time (package simulation) and
+// behind a socket (package processes).
 package simendpoint
 
 import (
@@ -45,7 +45,7 @@
 	Completed                 // it ran
 	Duplicate                 // it had run before, and was answered as then
 	Failed                    // it failed; it may have run
-	Rejected                  // turned away unseen
+	Rejected                  // rejected unseen
 	Unanswered                // it ran, and nothing is said of it
 )
 
@@ -77,7 +77,7 @@
 	connections     int
 	workDone        float64 // work done, at speed 1
 
-	// What was sent while cold, in tenths of the time after which it falls over.
+	// What was sent while warming up, in tenths of the time after which it falls over.
 	offeredSlot int64
 	offeredWork [10]float64
 	completions []Completion
@@ -129,7 +129,7 @@
 // Up says whether its process runs; it may be draining, or have fallen over.
 func (n *Endpoint) Up() bool { return n.up }
 
-// Collapsed says whether it was pushed over while cold. It stays so until it is started again.
+// Collapsed says whether it was pushed over while warming up. It stays so until it is started again.
 func (n *Endpoint) Collapsed() bool { return n.collapsed }
 
 // InFlight returns how many requests it holds.
@@ -192,7 +192,7 @@
 	return float64(len(n.cores)) * n.coreSpeed(now)
 }
 
-// speed is that of one core.
+// coreSpeed is that of one core.
 func (n *Endpoint) coreSpeed(now monotime.Micros) float64 {
 	v := n.config.Speed * n.WarmupShare(now) * (1 - n.condition.StolenShare)
 	if n.condition.Slowdown > 0 {
@@ -230,7 +230,8 @@
 	return Accepted
 }
 
-// push counts what is sent to a cold endpoint, which falls over when that is too much for too long.
+// recordOffered counts what is sent to a endpoint that is warming up, which falls over when that is too much for too
+// long.
 func (n *Endpoint) recordOffered(now monotime.Micros, j *Job) {
 	warmth := n.WarmupShare(now)
 	if n.config.CollapseLoad <= 0 || n.config.CollapseWindow <= 0 || warmth >= 1 || n.collapsed {
@@ -256,7 +257,7 @@
 	}
 }
 
-// begin has a request go to work on a free core.
+// startJob has a request go to work on a free core.
 func (n *Endpoint) startJob(now monotime.Micros, j *Job) {
 	j.state = running
 	speed := n.coreSpeed(now)
@@ -307,7 +308,7 @@
 	}
 }
 
-// refill has what waits go to work.
+// startQueued has what waits go to work.
 func (n *Endpoint) startQueued(now monotime.Micros) {
 	for n.busy < len(n.cores) && len(n.queue) > 0 {
 		j := n.queue[0]
@@ -317,8 +318,8 @@
 	}
 }
 
-// end is what came of a request that was worked at to its end. Its luck decides, so that it is the same whatever else
-// goes on.
+// complete is what came of a request that was worked at to its end. Its luck decides, so that it is the same whatever
+// else goes on.
 func (n *Endpoint) complete(now monotime.Micros, j *Job) Completion {
 	n.workDone += float64(j.Work)
 	n.report.served++
@@ -359,7 +360,7 @@
 	return true
 }
 
-// drop ends a request that has not run to its end. A repeat of it that comes now runs.
+// discard ends a request that has not run to its end. A repeat of it that comes now runs.
 func (n *Endpoint) discard(j *Job) {
 	j.state = idle
 	if j.IdempotencyKey != 0 && n.dedupGroup != nil && !j.duplicate {
--- a/internal/simulation/simendpoint/endpoint_test.go
+++ b/internal/simulation/simendpoint/endpoint_test.go
@@ -91,8 +91,8 @@
 	})
 }
 
-// A cold endpoint that is sent too much for too long falls over, and stays so until it is started again; one that is
-// warm, or is sent what it can do, does not.
+// An endpoint that is warming up and is sent too much for too long falls over, and stays so until it is started again;
+// one that is warm, or is sent what it can do, does not.
 func TestFallsOver(t *testing.T) {
 	c := Config{
 		Cores:          2,
--- a/internal/simulation/simendpoint/report.go
+++ b/internal/simulation/simendpoint/report.go
@@ -7,7 +7,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// figures are what reports are made of.
+// loadReporter are what reports are made of.
 type loadReporter struct {
 	reportedAt  monotime.Micros
 	current     Load
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -1,8 +1,9 @@
-// Package simulation plays a fleet in simulated time. What decides is linked, not written again: each instance is an
-// engine.Engine, as in a process, with a conns.Table before it. What is outside is modelled: endpoints (package
-// simendpoint), clients (package simclient), the network, discovery and clocks. A run is a pure function of the plan,
-// the settings and the build: it reads no clock, and all that is left to chance is drawn from package randstream, for
-// whom it is meant. It knows nothing of files, and does no I/O. A run is for one goroutine; several runs share nothing.
+// Package simulation runs a fleet in simulated time. The decision code is the production code: each instance is an
+// engine.Engine with a connlimit.Table before it. What surrounds an instance is modelled: endpoints (package
+// simendpoint), clients (package simclient), the network, discovery and clocks.
+//
+// A run is a pure function of the plan, the settings and the build: the package reads no clock, does no I/O and draws
+// all random numbers from package randstream. A run belongs to one goroutine; several runs share nothing.
 package simulation
 
 import (
@@ -46,7 +47,7 @@
 	// Lots sets apart what instances leave to chance in their decisions. Two runs of the same plan with other lots
 	// differ in nothing else.
 	DecisionSeed uint64
-	// Harm spoils this part of the stories: a known harm, to see whether a comparison finds it.
+	// Harm spoils this part of the operations: a known harm, to see whether a comparison finds it.
 	KnownHarm float64
 }
 
@@ -56,7 +57,7 @@
 	Settings *Settings
 	// its classes and tenants, by name, are those of the plan
 	Criteria measure.Criteria
-	// told of what happens to stories, for those who look for a cause; may be nil
+	// told of what happens to operations, for those who look for a cause; may be nil
 	Trace func(Trace)
 	// told of each request that an instance took, once it is over; may be nil
 	Record   func(x *RequestRecord)
@@ -64,7 +65,7 @@
 	Progress func(at monotime.Micros)
 }
 
-// Trace is one step in a story's life.
+// Trace is one step in an operation's life.
 type Trace struct {
 	At        monotime.Micros
 	Operation uint64
@@ -79,7 +80,7 @@
 type RequestRecord struct {
 	Instance, Process      int
 	Operation              uint64
-	Class, Tenant          int // places among the judge's; no tenant is -1
+	Class, Tenant          int // places among the criteria's; no tenant is -1
 	IdempotencyKey, Object uint64
 	Retry                  bool
 	Arrived                monotime.Micros // the instance's clock
@@ -92,7 +93,7 @@
 // clockOrigin is Unix time at the beginning of a run, in microseconds: what clocks of instances and discovery tell.
 const clockOrigin monotime.Micros = 1_700_000_000_000_000
 
-// afterEnd bounds how long a run goes on after its last story began.
+// maxDrainTime bounds how long a run goes on after its last operation began.
 const maxDrainTime = 120 * second
 
 // run is a run that is under way.
@@ -103,22 +104,22 @@
 	now      monotime.Micros
 	events   eventQueue
 
-	criteriaClass  []int // place among the judge's classes of each of the plan's
-	settingsClass  []int // and among the settings' of each of the judge's
+	criteriaClass  []int // place among the criteria's classes of each of the plan's
+	settingsClass  []int // and among the settings' of each of the criteria's
 	criteriaTenant []int
 	settingsTenant []int
 	behavior       simclient.Behavior
 
 	instances      []*instance
 	endpoints      []*endpoint
-	blockingEvents []int // happenings that keep ways apart
+	blockingEvents []int // planned events that keep ways apart
 	discovery      *discoveryService
 	network        network
 
 	workRand, faultRand, clientRand, reportRand *randstream.Stream
 	meter                                       *measure.Meter
-	pendingOperations                           int // stories
-	instancesWithArrivals                       int // instances that have stories to come
+	pendingOperations                           int // operations
+	instancesWithArrivals                       int // instances that have operations to come
 	fleetMessages                               uint64
 }
 
@@ -179,7 +180,7 @@
 	return result, nil
 }
 
-// fit finds the plan's classes and tenants among the judge's and the settings'.
+// mapNames finds the plan's classes and tenants among the criteria's and the settings'.
 func (r *run) mapNames() error {
 	for _, c := range r.plan.Classes {
 		at := slices.IndexFunc(r.options.Criteria.Classes, func(j balancer.Class) bool { return j.Name == c.Name })
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -153,7 +153,7 @@
 	return r
 }
 
-// A run follows from plan, settings and build. Variants meet the same stories, each with the same work, whatever
+// A run follows from plan, settings and build. Variants meet the same operations, each with the same work, whatever
 // becomes of them.
 func TestSameRunSameDigest(t *testing.T) {
 	const events = "[[event]]\nwhat = \"kill\"\nat = \"4s\"\nfor = \"2s\"\npart = [0.3]\n"
@@ -183,8 +183,8 @@
 	}
 }
 
-// Whatever goes wrong, each story has one outcome, each try that a running instance takes has one answer in its time,
-// and no rule is broken.
+// Whatever goes wrong, each operation has one outcome, each request that a running instance takes has one answer in its
+// time, and no rule is broken.
 func TestEachOperationEnds(t *testing.T) {
 	for name, events := range map[string]string{
 		"calm":    "",
