--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -21,7 +21,7 @@
 	Make  recordMakeCmd  `cmd:"" help:"Write the access record that a run of a scenario would leave."`
 }
 
-// Paths are those of a record.
+// RecordPaths are those of a record.
 type RecordPaths struct {
 	Paths []string `arg:"" help:"Folders of segments, or single segments."`
 	Align bool     `help:"Put instances whose clocks were wrong together by the system's."`
--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -84,7 +84,7 @@
 	return name
 }
 
-// Sizes changes how large a scenario is.
+// SizeFlags changes how large a scenario is.
 type SizeFlags struct {
 	World     []string `help:"Change the scenario: KEY=VALUE, as clients.load=0.8 or nodes.std-2c.count=50." placeholder:"KEY=VALUE" sep:"none"`
 	Instances int      `help:"So many instances in place of the scenario's."`
@@ -99,7 +99,7 @@
 	return experiment.Resize(s, z.World, z.Instances, z.Nodes)
 }
 
-// Keeping says where runs are kept and how many are made at once.
+// RunnerFlags says where runs are kept and how many are made at once.
 type RunnerFlags struct {
 	Store    string `help:"File in which runs are kept, so that nothing is run twice; none keeps nothing." placeholder:"FILE"`
 	Parallel int    `help:"Runs at once; 0 is one for each processor." default:"0"`
@@ -133,7 +133,7 @@
 	return r, done, nil
 }
 
-// Seeds says how many plans are drawn.
+// SeedFlags says how many plans are drawn.
 type SeedFlags struct {
 	Seeds int    `help:"So many seeds." default:"8"`
 	First uint64 `help:"The first seed." default:"1"`
