--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -90,8 +90,8 @@
 	for name := range conf.Headers {
 		decisive[http.CanonicalHeaderKey(name)] = true
 	}
-	r.SafeRules = upstreamRules(c, conf, r.SafeClass, r.Deadline)
-	r.UnsafeRules = upstreamRules(c, conf, r.UnsafeClass, r.Deadline)
+	r.SafePolicy = upstreamRules(c, conf, r.SafeClass, r.Deadline)
+	r.UnsafePolicy = upstreamRules(c, conf, r.UnsafeClass, r.Deadline)
 	return r
 }
 
--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -39,15 +39,15 @@
 
 // newClassRoutes returns how the requests of each class are handled.
 func (s *Server) newClassRoutes() []Route {
-	rules := &upstream.ResponsePolicy{
+	policy := &upstream.ResponsePolicy{
 		MaxBuffered:         classBodyBuffer,
 		BufferSlowResponses: true,
 		IdleTimeout:         classIdleTimeout,
 		DeadlineHeader:      "X-Expires-In-Ms",
 		ReplaceErrors:       true,
 	}
-	for code := range rules.FailureStatus {
-		rules.FailureStatus[code] = code != http.StatusOK
+	for code := range policy.FailureStatus {
+		policy.FailureStatus[code] = code != http.StatusOK
 	}
 	routes := make([]Route, len(s.options.Site.Classes))
 	for i, name := range s.options.Site.Classes {
@@ -56,8 +56,8 @@
 			Pool:           s.options.Pool,
 			SafeClass:      uint8(i),
 			UnsafeClass:    uint8(i),
-			SafeRules:      rules,
-			UnsafeRules:    rules,
+			SafePolicy:     policy,
+			UnsafePolicy:   policy,
 			BufferBytes:    classBodyBuffer,
 			MaxBodyBytes:   maxClassBody,
 			StreamTimeout:  classStreamTimeout,
@@ -137,7 +137,7 @@
 		}
 	}
 	parsed.call = s.newClassCall(c, req, uint8(class), timeout)
-	parsed.out = newClassOutbound(req, uri, parsed.route.SafeRules)
+	parsed.out = newClassOutbound(req, uri, parsed.route.SafePolicy)
 	parsed.out.ResponseTimeout = time.Duration(parsed.call.Request.Deadline) * time.Microsecond
 	return parsed, nil
 }
@@ -211,13 +211,13 @@
 }
 
 // newClassOutbound returns a request for an endpoint, without its body.
-func newClassOutbound(req *http.Request, uri string, rules *upstream.ResponsePolicy) *upstream.Request {
+func newClassOutbound(req *http.Request, uri string, policy *upstream.ResponsePolicy) *upstream.Request {
 	out := &upstream.Request{
 		Method: req.Method,
 		URI:    uri,
 		Host:   req.Host,
 		Header: make(http.Header, len(req.Header)),
-		Policy: rules,
+		Policy: policy,
 	}
 	connection := req.Header["Connection"]
 	for name, values := range req.Header {
--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	x.responseEdits = &rt.ResponseEdits
-	x.idleTimeout = rt.UnsafeRules.IdleTimeout
+	x.idleTimeout = rt.UnsafePolicy.IdleTimeout
 	call.Attempt = server.attemptFunc(out)
 	call.ArrivedAt = server.options.Clock.Now()
 	call.Request.Deadline += call.ArrivedAt
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -131,7 +131,7 @@
 		}
 	}
 	c := x.conn
-	idleTimeout := rt.UnsafeRules.IdleTimeout
+	idleTimeout := rt.UnsafePolicy.IdleTimeout
 	deadline := time.Now().Add(rt.StreamTimeout)
 	extendDeadline := func() {
 		readDeadline := time.Now().Add(idleTimeout)
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -119,17 +119,17 @@
 	c *conn, req *http.Request, rt *Route, host, path, query string,
 ) (*core.Call, *upstream.Request, error) {
 	class := rt.UnsafeClass
-	rules := rt.UnsafeRules
+	policy := rt.UnsafePolicy
 	if isSafeMethod(req.Method) {
 		class = rt.SafeClass
-		rules = rt.SafeRules
+		policy = rt.SafePolicy
 	}
 	settings := &s.options.Site.Settings.Classes[class]
 	if settings.Idempotency == balancer.IdempotentByKey && rt.IdempotencyKey.value(c, req, path) == "" {
 		// A repetition could not be recognized.
 		return nil, nil, requestErrorf(http.StatusBadRequest, "%s is missing", rt.IdempotencyKey.Name)
 	}
-	out := &upstream.Request{Method: req.Method, Host: host, Header: endToEndHeader(req), Policy: rules}
+	out := &upstream.Request{Method: req.Method, Host: host, Header: endToEndHeader(req), Policy: policy}
 	if rt.HostOverride != "" {
 		out.Host = rt.HostOverride
 	}
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -28,10 +28,10 @@
 	Name string
 	Pool *core.Pool
 
-	SafeClass   uint8                    // class of requests with a safe method (RFC 9110 section 9.2.1)
-	UnsafeClass uint8                    // class of all others
-	SafeRules   *upstream.ResponsePolicy // rules for the responses of SafeClass
-	UnsafeRules *upstream.ResponsePolicy // rules for the responses of UnsafeClass
+	SafeClass    uint8                    // class of requests with a safe method (RFC 9110 section 9.2.1)
+	UnsafeClass  uint8                    // class of all others
+	SafePolicy   *upstream.ResponsePolicy // how responses to requests of SafeClass are handled
+	UnsafePolicy *upstream.ResponsePolicy // how responses to requests of UnsafeClass are handled
 
 	Tenant         ValueSource
 	Object         ValueSource // what the request is about, for routing by object
