--- a/internal/fake/client/client.go
+++ b/internal/fake/client/client.go
@@ -1,17 +1,13 @@
-// Package client is a stand-in for a client process: it asks at its own pace, whether or not answers come, over
-// kept HTTP/1.1 connections, and notes what became of each request. It knows nothing of the program under test.
+// Package client is a fake client process for tests and benchmarks: it sends requests at a fixed rate, whether or not
+// responses arrive (an open loop), or from workers one after another (a closed loop), over persistent HTTP/1.1
+// connections, and records how each request ended. It must not import the program under test.
 package client
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,78 +15,38 @@
 	"time"
 )
 
-// Class is a kind of request that a client makes.
+// Class is a kind of request that a client sends.
 type Class struct {
 	Name               string
-	Share              float64       // of its requests
-	Method             string        // GET for what is safe to repeat, else POST
-	SendIdempotencyKey bool          // with an Idempotency-Key
-	BodySize           int           // bytes
-	Timeout            time.Duration // how long an answer is waited for
+	Share              float64 // of the client's requests, relative to the other classes
+	Method             string  // GET for an idempotent class, else POST
+	SendIdempotencyKey bool
+	BodySize           int // bytes; ignored for GET
+	Timeout            time.Duration
 }
 
-// Options say what a client does.
+// Options configure a client.
 type Options struct {
-	Name     string // of this client; its request ids begin with it
-	Network  string // "tcp" or "unix"
-	Addr     string
-	Tenant   string
-	Classes  []Class
-	Rate     float64       // requests a second; the gaps between them are exponential
-	Workers  int           // in place of a rate: so many ask one request after another
-	Duration time.Duration // then it stops asking and waits for what is open
-	MaxOpen  int           // requests open at once; more are not asked but counted as Skipped; 0 is no bound
-	Seed     uint64
-	OnDone   func(Result) `json:"-"` // called for each request when it is over, from many goroutines; may be nil
-}
-
-// Verdict is what became of a request.
-type Verdict uint8
-
-// The verdicts.
-const (
-	Served         Verdict = iota
-	Rejected               // 429 or 503
-	Failed                 // any other whole answer
-	ConnectionLost         // no whole answer: the connection broke, or could not be had
-	TimedOut               // the client gave up
-	WrongResponse          // an answer that is another request's, or more than one
-	ClientError            // 4xx, in the endpoint's own words
-	VerdictCount           // how many there are
-)
-
-var verdictNames = [VerdictCount]string{"served", "refused", "failed", "lost", "timed out", "wrong", "answered"}
-
-func (v Verdict) String() string { return verdictNames[v] }
-
-// Result is what became of one request.
-type Result struct {
-	ID, Key, Class string
-	Verdict        Verdict
-	Status         int
-	StartedAt      time.Time
-	Latency        time.Duration
-	Err            error  `json:"-"` // for Lost and TimedOut
-	ErrorText      string // the same, for those who read it elsewhere
-}
-
-// Report sums up what became of a client's requests.
-type Report struct {
-	Scheduled, Skipped int
-	ByVerdict          [len(verdictNames)]int
-	Latencies          []time.Duration // of those served, sorted
-	LongestGap         time.Duration   // between two answers served
-}
-
-// Quantile returns how long the served requests took at most, but for the slowest share of 1-q; 0 for none.
-func (r *Report) Quantile(q float64) time.Duration {
-	if len(r.Latencies) == 0 {
-		return 0
-	}
-	return r.Latencies[min(len(r.Latencies)-1, int(q*float64(len(r.Latencies))))]
-}
-
-// Client is a client process's side of its connections.
+	Name    string // prefix of its request ids
+	Network string // "tcp" or "unix"
+	Addr    string
+	Tenant  string
+	Classes []Class
+	Rate    float64 // requests a second, with exponential gaps; ignored with Workers
+	Workers int     // when positive, this many goroutines send requests one after another
+	// Duration is how long new requests are sent; those then open are waited for.
+	Duration time.Duration
+	// MaxOpen bounds the open requests; one that is due beyond it is counted as Skipped. 0 is no bound.
+	MaxOpen int
+	Seed    uint64
+	// OnDone is called with each finished request, concurrently; may be nil.
+	OnDone func(Result) `json:"-"`
+}
+
+// arrivalStream is the second word of the seed of the arrivals' random stream.
+const arrivalStream = 7
+
+// Client is a client process's side of its connections. It is safe for concurrent use.
 type Client struct {
 	options Options
 
@@ -98,46 +54,41 @@
 	idleConns []*conn
 }
 
-type conn struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
 // New returns a client.
 func New(options Options) *Client { return &Client{options: options} }
 
-// Run asks until its time is over or ctx ends, waits for what is open, closes its connections and reports.
+// Run sends requests until the duration has passed or ctx ends, waits for the open ones, closes the idle connections
+// and returns a report.
 func (c *Client) Run(ctx context.Context) Report {
 	var report Report
 	var mu sync.Mutex
-	var open sync.WaitGroup
-	var lastServed time.Time
-	over := func(r Result) {
+	onDone := func(result Result) {
 		if c.options.OnDone != nil {
-			c.options.OnDone(r)
+			c.options.OnDone(result)
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		report.ByVerdict[r.Verdict]++
-		if r.Verdict != Served {
-			return
-		}
-		report.Latencies = append(report.Latencies, r.Latency)
-		at := r.StartedAt.Add(r.Latency)
-		if !lastServed.IsZero() {
-			report.LongestGap = max(report.LongestGap, at.Sub(lastServed))
-		}
-		lastServed = at
+		report.add(result)
 	}
+	var scheduled, skipped int
 	if c.options.Workers > 0 {
-		asked := c.runWorkers(ctx, over)
-		c.Close()
-		slices.Sort(report.Latencies)
-		report.Scheduled = asked
-		return report
+		scheduled = c.runWorkers(ctx, onDone)
+	} else {
+		scheduled, skipped = c.runArrivals(ctx, onDone)
 	}
-	held := make(chan struct{}, max(1, c.options.MaxOpen))
-	rng := rand.New(rand.NewPCG(c.options.Seed, 7))
+	c.Close()
+	report.Scheduled = scheduled
+	report.Skipped = skipped
+	report.sort()
+	return report
+}
+
+// runArrivals sends requests at the rate, and returns how many were due and how many of these were skipped.
+func (c *Client) runArrivals(ctx context.Context, onDone func(Result)) (scheduled, skipped int) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	slots := make(chan struct{}, max(1, c.options.MaxOpen))
+	rng := rand.New(rand.NewPCG(c.options.Seed, arrivalStream))
 	next := time.Now()
 	end := next.Add(c.options.Duration)
 	timer := time.NewTimer(0)
@@ -145,7 +96,7 @@
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / c.options.Rate * float64(time.Second)))
 		if next.After(end) {
-			break
+			return scheduled, skipped
 		}
 		timer.Reset(time.Until(next))
 		select {
@@ -153,114 +104,103 @@
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil {
-			break
+			return scheduled, skipped
 		}
-		report.Scheduled++
+		scheduled++
 		if c.options.MaxOpen > 0 {
 			select {
-			case held <- struct{}{}:
+			case slots <- struct{}{}:
 			default:
-				report.Skipped++
+				skipped++
 				continue
 			}
 		}
 		class := c.drawClass(rng)
 		id := fmt.Sprintf("%s-%d", c.options.Name, n)
-		key := ""
-		if class.SendIdempotencyKey {
-			key = fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
-		}
+		key := drawKey(class, rng)
 		open.Go(func() {
-			r := c.Send(class, id, key)
+			result := c.Send(class, id, key)
 			if c.options.MaxOpen > 0 {
-				<-held
+				<-slots
 			}
-			over(r)
+			onDone(result)
 		})
 	}
-	open.Wait()
-	c.Close()
-	slices.Sort(report.Latencies)
-	return report
 }
 
-// work has workers ask one request after another, and says how many they have asked.
-func (c *Client) runWorkers(ctx context.Context, over func(Result)) int {
+// runWorkers sends requests from workers, each one after another, and returns how many were sent.
+func (c *Client) runWorkers(ctx context.Context, onDone func(Result)) int {
 	var workers sync.WaitGroup
-	var asked atomic.Int64
+	var sent atomic.Int64
 	end := time.Now().Add(c.options.Duration)
 	for i := range c.options.Workers {
 		workers.Go(func() {
 			rng := rand.New(rand.NewPCG(c.options.Seed, uint64(i)))
 			for time.Now().Before(end) && ctx.Err() == nil {
 				class := c.drawClass(rng)
-				key := ""
-				if class.SendIdempotencyKey {
-					key = fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
-				}
-				over(c.Send(class, fmt.Sprintf("%s-%d", c.options.Name, asked.Add(1)), key))
+				key := drawKey(class, rng)
+				id := fmt.Sprintf("%s-%d", c.options.Name, sent.Add(1))
+				onDone(c.Send(class, id, key))
 			}
 		})
 	}
 	workers.Wait()
-	return int(asked.Load())
-}
-
-// Close closes the kept connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, k := range c.idleConns {
-		k.Close()
-	}
-	c.idleConns = nil
+	return int(sent.Load())
 }
 
+// drawClass draws a class by the classes' shares.
 func (c *Client) drawClass(rng *rand.Rand) Class {
 	var sum float64
-	for _, k := range c.options.Classes {
-		sum += k.Share
+	for _, class := range c.options.Classes {
+		sum += class.Share
 	}
 	x := rng.Float64() * sum
-	for _, k := range c.options.Classes {
-		if x -= k.Share; x < 0 {
-			return k
+	for _, class := range c.options.Classes {
+		if x -= class.Share; x < 0 {
+			return class
 		}
 	}
 	return c.options.Classes[len(c.options.Classes)-1]
 }
 
-// Send makes one request. Where a kept connection turns out to have been closed before the request, it is made
-// once more on a new one, as PROTOCOL has clients do.
+// drawKey draws an idempotency key, or returns "" for a class without keys.
+func drawKey(class Class, rng *rand.Rand) string {
+	if !class.SendIdempotencyKey {
+		return ""
+	}
+	return fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+}
+
+// Send sends one request and waits for its end. When a reused connection turns out to have been closed before the
+// request, the request is sent again on another one, as PROTOCOL requires of clients.
 func (c *Client) Send(class Class, id, key string) Result {
-	r := Result{ID: id, Key: key, Class: class.Name, StartedAt: time.Now()}
-	text := c.requestText(class, id, key)
-	deadline := r.StartedAt.Add(class.Timeout)
+	result := Result{ID: id, Key: key, Class: class.Name, StartedAt: time.Now()}
+	request := c.requestText(class, id, key)
+	deadline := result.StartedAt.Add(class.Timeout)
 	for {
-		k, kept, err := c.getConn(deadline)
+		connection, err := c.getConn(deadline)
 		if err == nil {
-			var again bool
-			if again, err = c.exchange(k, text, deadline, &r); again && kept {
+			reused := connection.reused
+			var stale bool
+			stale, err = c.exchange(connection, request, deadline, &result)
+			if stale && reused {
 				continue
 			}
 		}
-		r.Latency = time.Since(r.StartedAt)
+		result.Latency = time.Since(result.StartedAt)
 		if err != nil {
-			r.Verdict, r.Err, r.ErrorText = ConnectionLost, err, err.Error()
-			var timeout net.Error
-			if errors.As(err, &timeout) && timeout.Timeout() {
-				r.Verdict = TimedOut
-			}
+			result.fail(err)
 		}
-		return r
+		return result
 	}
 }
 
+// requestText returns a request as it is written to the connection.
 func (c *Client) requestText(class Class, id, key string) string {
 	var b strings.Builder
-	b.WriteString(class.Method + " /" + class.Name + "/x HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id +
-		"\r\nX-Qos: " + class.Name + "\r\nX-Customer: " + c.options.Tenant + "\r\nX-Expires-In-Ms: " +
-		strconv.FormatInt(class.Timeout.Milliseconds(), 10) + "\r\n")
+	b.WriteString(class.Method + " /" + class.Name + "/x HTTP/1.1\r\nHost: origin.svc\r\n")
+	b.WriteString("X-Trace-Id: " + id + "\r\nX-Qos: " + class.Name + "\r\nX-Customer: " + c.options.Tenant + "\r\n")
+	b.WriteString("X-Expires-In-Ms: " + strconv.FormatInt(class.Timeout.Milliseconds(), 10) + "\r\n")
 	if key != "" {
 		b.WriteString("Idempotency-Key: " + key + "\r\n")
 	}
@@ -273,68 +213,3 @@
 	}
 	return b.String()
 }
-
-// exchange writes a request and reads its answer; again says that the connection had been closed before.
-func (c *Client) exchange(connection *conn, text string, deadline time.Time, result *Result) (again bool, err error) {
-	connection.SetDeadline(deadline)
-	if _, err := io.WriteString(connection, text); err != nil {
-		connection.Close()
-		return true, err
-	}
-	if _, err := connection.reader.Peek(1); err != nil {
-		connection.Close()
-		return errors.Is(err, io.EOF), err
-	}
-	resp, err := http.ReadResponse(connection.reader, nil)
-	if err != nil {
-		connection.Close()
-		return false, err
-	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		connection.Close()
-		return false, err
-	}
-	more := connection.reader.Buffered() > 0 // behind the one answer
-	if resp.Close || more {
-		connection.Close()
-	} else {
-		c.putConn(connection)
-	}
-	result.Status = resp.StatusCode
-	switch {
-	case more, result.Status == http.StatusOK && !strings.HasPrefix(string(body), result.ID+" "):
-		result.Verdict = WrongResponse
-	case result.Status == http.StatusOK:
-		result.Verdict = Served
-	case result.Status < http.StatusInternalServerError && strings.HasPrefix(string(body), result.ID+" "):
-		result.Verdict = ClientError
-	case result.Status == http.StatusTooManyRequests || result.Status == http.StatusServiceUnavailable:
-		result.Verdict = Rejected
-	default:
-		result.Verdict = Failed
-	}
-	return false, nil
-}
-
-func (c *Client) getConn(deadline time.Time) (k *conn, kept bool, err error) {
-	c.mu.Lock()
-	if n := len(c.idleConns); n > 0 {
-		k = c.idleConns[n-1]
-		c.idleConns = c.idleConns[:n-1]
-		c.mu.Unlock()
-		return k, true, nil
-	}
-	c.mu.Unlock()
-	nc, err := (&net.Dialer{Deadline: deadline}).Dial(c.options.Network, c.options.Addr)
-	if err != nil {
-		return nil, false, err
-	}
-	return &conn{Conn: nc, reader: bufio.NewReader(nc)}, false, nil
-}
-
-func (c *Client) putConn(connection *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idleConns = append(c.idleConns, connection)
-}
--- a/internal/fake/freeport/freeport.go
+++ b/internal/fake/freeport/freeport.go
@@ -1,5 +1,6 @@
-// Package freeport finds addresses of loopback for what is to listen there later, or again: an address that the kernel gives for
-// the asking is from the range of which it also takes those of outgoing connections, and may be taken by one in between.
+// Package freeport finds loopback addresses for servers that start later or restart. An address from listening on
+// port 0 would not do: it is from the range that the kernel also uses for outgoing connections, which may take it
+// meanwhile.
 package freeport
 
 import (
@@ -12,32 +13,35 @@
 	"syscall"
 )
 
-// The range is below what Linux gives to outgoing connections where nobody has changed that (ip_local_port_range, ip(7):
-// from 32768 on), and above what is commonly served.
 const (
-	firstPort   = 12_000
-	lastPort    = 32_000
+	// The ports [firstPort, endPort) are below Linux's default range for outgoing connections, which starts at 32768
+	// (ip_local_port_range, ip(7)), and above commonly used ports.
+	firstPort = 12_000
+	endPort   = 32_000
+
 	maxAttempts = 1000
 )
 
+// reserved holds the ports that this process has been given.
 var reserved struct {
 	sync.Mutex
-	all map[int]bool
+	ports map[int]bool
 }
 
-// Free returns an address, 127.0.0.1 with a port, on which nothing listens; a process is not given one twice.
+// Free returns an address (127.0.0.1 and a port) on which nothing listens. A process never gets the same one twice.
+// It is safe for concurrent use.
 func Free() (string, error) {
 	reserved.Lock()
 	defer reserved.Unlock()
-	if reserved.all == nil {
-		reserved.all = map[int]bool{}
+	if reserved.ports == nil {
+		reserved.ports = map[int]bool{}
 	}
 	for range maxAttempts {
-		n := firstPort + rand.IntN(lastPort-firstPort)
-		if reserved.all[n] {
+		port := firstPort + rand.IntN(endPort-firstPort)
+		if reserved.ports[port] {
 			continue
 		}
-		addr := fmt.Sprint("127.0.0.1:", n)
+		addr := fmt.Sprint("127.0.0.1:", port)
 		ln, err := net.Listen("tcp", addr)
 		if errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, os.ErrPermission) {
 			continue
@@ -45,8 +49,8 @@
 		if err != nil {
 			return "", err
 		}
-		reserved.all[n] = true
+		reserved.ports[port] = true
 		return addr, ln.Close()
 	}
-	return "", errors.New("no port is free")
+	return "", errors.New("no free port found")
 }
--- a/internal/fake/scripteddiscovery/server.go
+++ b/internal/fake/scripteddiscovery/server.go
@@ -1,4 +1,4 @@
-// Package scripteddiscovery is a stand-in for discovery whose every line a test writes by hand.
+// Package scripteddiscovery is a fake discovery service: a test writes each line of its watches.
 package scripteddiscovery
 
 import (
@@ -13,70 +13,84 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// Server is a discovery whose watches are written by hand.
+// Server is a discovery service whose watches are written by a test.
 type Server struct {
 	Addr     string
-	Requests chan string // what each call asked for: its values of watch and after
-	Lines    chan string // to write to the call that came last; an empty text ends it
+	Requests chan string // the query values of each call: watch, a space, after
+	Lines    chan string // sent to the latest call; an empty line ends it
 
 	mu      sync.Mutex
 	current *call
 }
 
-// call is one that the board answers.
+// call is a request in progress.
 type call struct {
 	cancel context.CancelFunc
 	ended  chan struct{}
 }
 
-// New starts a board.
+// requestsBuffer is how many calls may arrive before a test reads Requests.
+const requestsBuffer = 16
+
+// New starts a server, which ends with the test.
 func New(t testing.TB) *Server {
-	b := &Server{Requests: make(chan string, 16), Lines: make(chan string)}
-	b.Addr = scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithCancel(r.Context())
-		defer b.replaceCall(cancel)()
-		b.Requests <- r.FormValue("watch") + " " + r.FormValue("after")
-		http.NewResponseController(w).Flush()
-		for {
-			select {
-			case line := <-b.Lines:
-				if line == "" {
-					return
-				}
-				_, _ = io.WriteString(w, line+"\n") // a client that has gone ends the request's context
-				http.NewResponseController(w).Flush()
-			case <-ctx.Done():
+	t.Helper()
+	s := &Server{
+		Requests: make(chan string, requestsBuffer),
+		Lines:    make(chan string),
+	}
+	s.Addr = scriptedpeer.StartHTTP(t, s.serve)
+	return s
+}
+
+// serve sends the test's lines until an empty one, the caller's end or the next call.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer s.replaceCall(cancel)()
+	s.Requests <- r.FormValue("watch") + " " + r.FormValue("after")
+	controller := http.NewResponseController(w)
+	controller.Flush()
+	for {
+		select {
+		case line := <-s.Lines:
+			if line == "" {
 				return
 			}
+			_, _ = io.WriteString(w, line+"\n") // an error also ends the request's context
+			controller.Flush()
+		case <-ctx.Done():
+			return
 		}
-	})
-	return b
+	}
 }
 
-// take has a call be the last one: the call before it is over when this returns, so that no line for this one goes to a caller who has
-// left. It returns what ends the call.
-func (b *Server) replaceCall(left context.CancelFunc) (end func()) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.current != nil {
-		b.current.cancel()
-		<-b.current.ended
+// replaceCall makes a call the current one, after ending the call before it, so that no line reaches a caller that has
+// left. It returns a function that ends the new call.
+func (s *Server) replaceCall(cancel context.CancelFunc) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.current.cancel()
+		<-s.current.ended
+	}
+	started := &call{cancel: cancel, ended: make(chan struct{})}
+	s.current = started
+	return func() {
+		cancel()
+		close(started.ended)
 	}
-	now := &call{cancel: left, ended: make(chan struct{})}
-	b.current = now
-	return func() { left(); close(now.ended) }
 }
 
-// Line returns a list as a line of a watch.
+// Line returns an endpoint list as one line of a watch.
 func Line(generation int64, reset bool, instances ...discovery.Instance) string {
 	text, err := json.Marshal(discovery.List{Generation: generation, Reset: reset, Instances: instances})
 	if err != nil {
-		panic(err) // of figures and texts only
+		panic(err) // numbers and strings always marshal
 	}
 	return string(text)
 }
 
-// Up returns the entry of an endpoint that serves.
+// Up returns the list entry of an endpoint that is up.
 func Up(id, addr string) discovery.Instance {
 	return discovery.Instance{ID: id, Address: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
 }
--- a/internal/fake/scriptedpeer/peer.go
+++ b/internal/fake/scriptedpeer/peer.go
@@ -1,5 +1,5 @@
-// Package scriptedpeer holds scripted peers for the project's tests: servers on loopback whose every byte a test writes
-// by hand, and bounded waits for what must come.
+// Package scriptedpeer starts loopback servers whose responses a test scripts byte by byte, and offers bounded waits
+// for events.
 package scriptedpeer
 
 import (
@@ -15,13 +15,13 @@
 	"dunlinsail/internal/fake/freeport"
 )
 
-// WaitTimeout bounds every wait for something that must come.
+// WaitTimeout bounds each wait for an event that must happen.
 const WaitTimeout = 20 * time.Second
 
-// DiscardLog is a log that nobody reads.
+// DiscardLog is a logger without output.
 var DiscardLog = slog.New(slog.DiscardHandler)
 
-// ClosedAddress returns an address that refuses connections.
+// ClosedAddress returns an address on which nothing listens.
 func ClosedAddress(t testing.TB) string {
 	t.Helper()
 	addr, err := freeport.Free()
@@ -31,7 +31,7 @@
 	return addr
 }
 
-// StartHTTP starts a server that speaks plain HTTP, and returns its address.
+// StartHTTP starts an HTTP server, which ends with the test, and returns its address.
 func StartHTTP(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
@@ -39,7 +39,8 @@
 	return s.Listener.Addr().String()
 }
 
-// StartTCP starts a server whose connections are handled by hand, and closed when the handler returns.
+// StartTCP starts a TCP server, whose listener closes with the test, and returns its address. Each connection is closed
+// when handle returns.
 func StartTCP(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -62,7 +63,7 @@
 	return ln.Addr().String()
 }
 
-// ReadRequest reads a whole request.
+// ReadRequest reads a complete HTTP request and discards its body.
 func ReadRequest(r *bufio.Reader) (*http.Request, error) {
 	req, err := http.ReadRequest(r)
 	if err == nil {
@@ -71,22 +72,22 @@
 	return req, err
 }
 
-// Receive returns what comes on a channel, and fails the test if nothing does.
+// Receive returns the next value of a channel, and fails the test when none comes within WaitTimeout.
 func Receive[T any](t testing.TB, ch <-chan T, what string) T {
 	t.Helper()
 	select {
 	case v := <-ch:
 		return v
 	case <-time.After(WaitTimeout):
-		t.Fatalf("%s: nothing came", what)
+		t.Fatalf("%s: nothing received within %v", what, WaitTimeout)
 		panic("unreachable")
 	}
 }
 
-// Eventually waits until something is so, and fails the test if it never is.
-func Eventually(t testing.TB, what string, is func() bool) {
+// Eventually waits until condition holds, and fails the test when it does not within WaitTimeout.
+func Eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
-	for end := time.Now().Add(WaitTimeout); !is(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(WaitTimeout); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("%s: not within %v", what, WaitTimeout)
 		}
