--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -21,7 +21,7 @@
 	closeAfter bool   // the connection is closed after the response
 	byClass    bool   // as PROTOCOL describes: responses of endpoints are forwarded only where they succeeded
 
-	stream        *upstream.RequestStream // the request's body, once an attempt reads it; nil if it is buffered or not read
+	stream        *upstream.RequestStream // body of the request, once an attempt reads it; else nil
 	responseEdits *HeaderEdits            // of an endpoint's response
 	idleTimeout   time.Duration           // for which a client may read nothing of the response
 
--- a/internal/frontend/http1/head_test.go
+++ b/internal/frontend/http1/head_test.go
@@ -12,8 +12,8 @@
 	"testing/iotest"
 )
 
-// reading returns a connection on which some bytes come, and nothing after them.
-func reading(r io.Reader) *conn {
+// connReading returns a connection that reads r.
+func connReading(r io.Reader) *conn {
 	c := &conn{}
 	c.readLimit.R, c.readLimit.N = r, MaxHeaderBytes
 	return c
@@ -38,16 +38,17 @@
 	"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\n",
 }
 
-// However a head comes in pieces, the verdict is the same; what is taken, net/http takes too and reads alike, and it is
-// what every reader of RFC 9112 agrees on: no lone line end, no folding, no length in two ways.
+// However a head arrives in pieces, the verdict is the same. net/http accepts and reads alike what is accepted, and
+// every reader of RFC 9112 agrees on it: no lone line end, no folding, no length in two ways.
 func FuzzHead(f *testing.F) {
 	for _, h := range heads {
 		f.Add([]byte(h))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r, err := reading(bytes.NewReader(text)).readRequest(nil)
-		slow, slowErr := reading(iotest.OneByteReader(bytes.NewReader(text))).readRequest(nil)
-		if (err == nil) != (slowErr == nil) || err != nil && len(text) < MaxHeaderBytes && err.Error() != slowErr.Error() {
+		r, err := connReading(bytes.NewReader(text)).readRequest(nil)
+		slow, slowErr := connReading(iotest.OneByteReader(bytes.NewReader(text))).readRequest(nil)
+		if (err == nil) != (slowErr == nil) ||
+			err != nil && len(text) < MaxHeaderBytes && err.Error() != slowErr.Error() {
 			t.Fatalf("%q: %v at once, %v byte by byte", text, err, slowErr)
 		}
 		if err != nil {
@@ -61,24 +62,29 @@
 			std.Header["Transfer-Encoding"] = std.TransferEncoding
 		}
 		for _, o := range []*http.Request{slow, std} {
-			if r.Method != o.Method || r.RequestURI != o.RequestURI || r.Host != o.Host || r.ContentLength != o.ContentLength ||
+			if r.Method != o.Method || r.RequestURI != o.RequestURI || r.Host != o.Host ||
+				r.ContentLength != o.ContentLength ||
 				!reflect.DeepEqual(r.Header, o.Header) || !reflect.DeepEqual(r.TransferEncoding, o.TransferEncoding) {
 				t.Errorf("%q: %+v and %+v", text, r, o)
 			}
 		}
 		head, _, _ := bytes.Cut(text, []byte("\r\n\r\n"))
-		if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) || bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) ||
+		if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) ||
+			bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) ||
 			len(r.Header["Content-Length"]) > 1 || len(r.TransferEncoding) > 0 && r.Header.Get("Content-Length") != "" {
 			t.Errorf("%q was taken", text)
 		}
 	})
 }
 
-// A head of whatever size leaves the buffers as they were.
-func TestLargeHeads(t *testing.T) {
-	for _, size := range []int{1, readBufferSize - 1, readBufferSize, readBufferSize + 1, MaxHeaderBytes - 100, MaxHeaderBytes - 40, MaxHeaderBytes} {
+// A head of whatever size leaves the connection without a buffer.
+func TestHeadOfAnySizeReleasesItsBuffer(t *testing.T) {
+	for _, size := range []int{
+		1, readBufferSize - 1, readBufferSize, readBufferSize + 1,
+		MaxHeaderBytes - 100, MaxHeaderBytes - 40, MaxHeaderBytes,
+	} {
 		text := "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", size) + "\r\n\r\n"
-		c := reading(strings.NewReader(text))
+		c := connReading(strings.NewReader(text))
 		r, err := c.readRequest(nil)
 		if len(text) > MaxHeaderBytes {
 			if err == nil || c.readLimit.N > 0 {
@@ -94,7 +100,8 @@
 			t.Errorf("%d bytes: the buffer is kept", len(text))
 		}
 	}
-	if _, err := reading(strings.NewReader(strings.Repeat("x", 10))).readRequest(nil); !errors.Is(err, io.ErrUnexpectedEOF) {
+	_, err := connReading(strings.NewReader(strings.Repeat("x", 10))).readRequest(nil)
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("half a head: %v", err)
 	}
 }
--- a/internal/http1msg/body_test.go
+++ b/internal/http1msg/body_test.go
@@ -19,7 +19,7 @@
 	return got, b, err
 }
 
-func TestChunks(t *testing.T) {
+func TestBodyReadsChunks(t *testing.T) {
 	for _, tc := range []struct {
 		text, want string
 		err        error
@@ -51,7 +51,10 @@
 		{"0\r\n X: 5\r\n\r\n", "", ErrMalformedTrailer},
 		{"0\r\nX: 5\n\r\n", "", ErrMalformedChunk},
 		{"0\r\n" + strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 9) + "\r\n", "", ErrMalformedTrailer},
-		{strings.Repeat("1;"+strings.Repeat("x", 500)+"\r\na\r\n", 20) + "0\r\n\r\n", strings.Repeat("a", 16), ErrMalformedChunk},
+		{
+			strings.Repeat("1;"+strings.Repeat("x", 500)+"\r\na\r\n", 20) + "0\r\n\r\n",
+			strings.Repeat("a", 16), ErrMalformedChunk,
+		},
 	} {
 		got, b, err := read(tc.text, Framing{Kind: Chunked})
 		if string(got) != tc.want || !errors.Is(err, tc.err) || (err == nil) != b.Done() {
@@ -83,7 +86,10 @@
 		{header("Content-Length", "5"), Framing{FixedLength, 5}, Framing{FixedLength, 5}, nil},
 		{header("Transfer-Encoding", "Chunked"), Framing{Kind: Chunked}, Framing{Kind: Chunked}, nil},
 		{header("Transfer-Encoding", "gzip, chunked"), Framing{}, Framing{}, ErrTransferEncoding},
-		{header("Transfer-Encoding", "chunked", "Transfer-Encoding", "chunked"), Framing{}, Framing{}, ErrTransferEncoding},
+		{
+			header("Transfer-Encoding", "chunked", "Transfer-Encoding", "chunked"),
+			Framing{}, Framing{}, ErrTransferEncoding,
+		},
 		{header("Transfer-Encoding", "chunked", "Content-Length", "5"), Framing{}, Framing{}, ErrLengthAndEncoding},
 		{header("Content-Length", "5", "Content-Length", "5"), Framing{}, Framing{}, ErrContentLength},
 		{header("Content-Length", "-5"), Framing{}, Framing{}, ErrContentLength},
@@ -107,8 +113,8 @@
 	}
 }
 
-// A deadline that passes in the middle of anything costs nothing.
-func TestBodyGoesOnAfterDeadlines(t *testing.T) {
+// A deadline that passes anywhere in a body loses none of it.
+func TestBodyContinuesAfterDeadlines(t *testing.T) {
 	text := "3;x=y\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\nX-Sum: 7\r\n\r\n"
 	b := NewBody(bufio.NewReader(&flaky{r: iotest.OneByteReader(strings.NewReader(text))}), Framing{Kind: Chunked})
 	var got []byte
@@ -150,10 +156,13 @@
 	return f.r.Read(p)
 }
 
-// What is taken as a chunked body, net/http takes with the same bytes; in pieces it is the same; and what is written
-// is read again.
+// net/http accepts what is accepted as a chunked body, with the same bytes; in pieces the result is the same; and
+// what is written is read again.
 func FuzzChunks(f *testing.F) {
-	for _, s := range []string{"0\r\n\r\n", "3\r\nabc\r\n0\r\nA: b\r\n\r\n", "3;x\r\nabc\r\n00\r\n\r\nnext", "3\nabc\n0\n\n", "-1\r\n", "f" + strings.Repeat("f", 16) + "\r\n"} {
+	for _, s := range []string{
+		"0\r\n\r\n", "3\r\nabc\r\n0\r\nA: b\r\n\r\n", "3;x\r\nabc\r\n00\r\n\r\nnext",
+		"3\nabc\n0\n\n", "-1\r\n", "f" + strings.Repeat("f", 16) + "\r\n",
+	} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
