Schedule the process runner's events by kind, in place of a function of 167 lines

Each kind of event (endpoints, network, discovery, instances, restarts) has a method of a scheduledEvent; steps and their order stay. go test -race ./internal/experiment/processes passes.

--- a/internal/experiment/processes/events.go
+++ b/internal/experiment/processes/events.go
@@ -4,16 +4,25 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/simulation/randstream"
+	"dunlinsail/internal/simulation/scenario"
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// cut says whether nothing comes through between two zones.
+const (
+	// minNeighborPeriod bounds how often the load of a noisy neighbor is changed, in microseconds.
+	minNeighborPeriod monotime.Micros = 1_000_000
+	// restartDelay is the downtime of a restarted instance where the plan sets none, in microseconds.
+	restartDelay monotime.Micros = 1_000_000
+)
+
+// isPartitioned reports whether a partition separates two zones now.
 func (r *run) isPartitioned(a, b int) bool {
 	if a == b {
 		return false
@@ -28,7 +37,7 @@
 	return false
 }
 
-// hush has nothing come through to the endpoints that are cut off.
+// applySilence silences the listeners of endpoints that are unreachable now, and opens all others.
 func (r *run) applySilence() {
 	for _, e := range r.endpoints {
 		if err := e.applySilence(); err != nil {
@@ -37,192 +46,262 @@
 	}
 }
 
-// conditions sets what goes wrong at an endpoint by all that happens now.
+// updateCondition sets an endpoint's faults to the sum of all events that are active now.
 func (r *run) updateCondition(n int) {
 	var c simendpoint.Condition
 	now := r.now()
 	for i := range r.plan.PlannedEvents {
-		h := &r.plan.PlannedEvents[i]
-		if now < h.At || now >= h.Until {
+		event := &r.plan.PlannedEvents[i]
+		if now < event.At || now >= event.Until {
 			continue
 		}
-		for j, at := range h.Endpoints {
-			if at == n {
-				h.AddCondition(&c, now, j, r.criteriaClass)
+		for j, endpoint := range event.Endpoints {
+			if endpoint == n {
+				event.AddCondition(&c, now, j, r.criteriaClass)
 			}
 		}
 	}
 	r.endpoints[n].setCondition(c)
 }
 
-// schedule has happen what happens.
-func (r *run) schedule(ctx context.Context, beside *sync.WaitGroup) {
-	end := r.plan.Length.Micros()
-	up := func(n int) {
-		if err := r.endpoints[n].start(); err != nil {
-			r.fail(fmt.Errorf("endpoint %d does not start again: %w", n, err))
-		}
+// startEndpoint starts an endpoint again; an error ends the run.
+func (r *run) startEndpoint(n int) {
+	if err := r.endpoints[n].start(); err != nil {
+		r.fail(fmt.Errorf("endpoint %d does not start again: %w", n, err))
 	}
+}
+
+// killEndpoint kills an endpoint's process, and has discovery notice. Where the whole machine vanishes its sockets
+// stay silent instead of being reset.
+func (r *run) killEndpoint(n int, vanished bool) {
+	r.endpoints[n].kill(vanished)
+	r.announceState(n, balancer.Gone, vanished)
+}
+
+// scheduledEvent schedules the steps of one planned event on timers of the run.
+type scheduledEvent struct {
+	*scenario.PlannedEvent
+	run        *run
+	ctx        context.Context // of the run: its end cancels steps that are still to come
+	background *sync.WaitGroup // of the goroutines that wait for a step
+	runEnd     monotime.Micros
+}
+
+// scheduleEvents schedules all events of the plan, and the pauses that endpoints have at random.
+func (r *run) scheduleEvents(ctx context.Context, background *sync.WaitGroup) {
 	for i := range r.plan.PlannedEvents {
-		h := &r.plan.PlannedEvents[i]
-		over := func(f func()) {
-			if h.Until < math.MaxInt64 && h.Until < end {
-				r.scheduleAt(ctx, beside, h.Until+1, f)
-			}
+		e := scheduledEvent{
+			PlannedEvent: &r.plan.PlannedEvents[i],
+			run:          r,
+			ctx:          ctx,
+			background:   background,
+			runEnd:       r.plan.Length.Micros(),
+		}
+		e.schedule()
+	}
+	for n := range r.endpoints {
+		if p := r.endpoints[n].plan; p.PauseEvery > 0 && p.PauseFor > 0 {
+			background.Go(func() { r.runRandomPauses(ctx, n) })
+		}
+	}
+}
+
+// at calls step at an instant of the run.
+func (e *scheduledEvent) at(instant monotime.Micros, step func()) {
+	e.run.scheduleAt(e.ctx, e.background, instant, step)
+}
+
+// atEnd calls step once the event is over, unless the run ends before.
+func (e *scheduledEvent) atEnd(step func()) {
+	if e.Until < math.MaxInt64 && e.Until < e.runEnd {
+		e.at(e.Until+1, step)
+	}
+}
+
+// eachEndpoint returns a step that calls f for every endpoint of the event.
+func (e *scheduledEvent) eachEndpoint(f func(n int)) func() {
+	return func() {
+		for _, n := range e.Endpoints {
+			f(n)
+		}
+	}
+}
+
+func (e *scheduledEvent) schedule() {
+	switch e.What {
+	case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
+		e.at(e.At, e.eachEndpoint(e.run.updateCondition))
+		e.atEnd(e.eachEndpoint(e.run.updateCondition))
+	case "neighbour":
+		e.scheduleNeighbor()
+	case "pause", "drain", "kill", "vanish", "rolling":
+		e.scheduleEndpointEvent()
+	case "cut", "sever":
+		e.scheduleNetworkEvent()
+	case "stale", "silent", "deaf":
+		e.scheduleDiscoveryEvent()
+	default:
+		e.scheduleInstanceEvent()
+	}
+}
+
+// scheduleNeighbor updates the endpoints' condition each time that the neighbor's load changes.
+func (e *scheduledEvent) scheduleNeighbor() {
+	for at := e.At; at < min(e.Until, e.runEnd); at += max(e.Every, minNeighborPeriod) {
+		e.at(at, e.eachEndpoint(e.run.updateCondition))
+		if e.Every <= 0 {
+			break
 		}
-		each := func(f func(n int)) func() {
-			return func() {
-				for _, n := range h.Endpoints {
-					f(n)
-				}
+	}
+	e.atEnd(e.eachEndpoint(e.run.updateCondition))
+}
+
+// scheduleEndpointEvent schedules what happens to the processes of endpoints.
+func (e *scheduledEvent) scheduleEndpointEvent() {
+	r := e.run
+	switch e.What {
+	case "pause":
+		e.at(e.At, e.eachEndpoint(func(n int) { r.endpoints[n].pause(e.Until - e.At) }))
+	case "drain":
+		e.at(e.At, e.eachEndpoint(func(n int) { r.endpoints[n].drain() }))
+		e.atEnd(e.eachEndpoint(r.startEndpoint))
+	case "kill":
+		e.at(e.At, e.eachEndpoint(func(n int) { r.killEndpoint(n, false) }))
+		e.atEnd(e.eachEndpoint(r.startEndpoint))
+	case "vanish":
+		e.at(e.At, e.eachEndpoint(func(n int) { r.killEndpoint(n, true) }))
+		e.atEnd(e.eachEndpoint(r.startEndpoint))
+	case "rolling":
+		for k, n := range e.Endpoints {
+			if at := e.At + monotime.Micros(k)*e.Every; at < min(e.Until, e.runEnd) {
+				e.at(at, func() { r.endpoints[n].drain() })
+				e.at(at+e.Every, func() { r.startEndpoint(n) })
 			}
 		}
-		kill := func(silent bool) func(n int) {
-			return func(n int) {
-				r.endpoints[n].kill(silent)
-				r.announceState(n, balancer.Gone, silent)
+	}
+}
+
+// scheduleNetworkEvent schedules partitions between zones, and between instances and endpoints.
+func (e *scheduledEvent) scheduleNetworkEvent() {
+	r := e.run
+	if e.What == "sever" {
+		e.at(e.At, r.applySilence)
+		e.atEnd(r.applySilence)
+		return
+	}
+	zones := [2]int{e.Zone, e.To}
+	e.at(e.At, func() {
+		r.updateCounts(func(*counts) { r.cuts = append(r.cuts, zones) })
+		r.applySilence()
+	})
+	e.atEnd(func() {
+		r.updateCounts(func(*counts) {
+			if i := slices.Index(r.cuts, zones); i >= 0 {
+				r.cuts = append(r.cuts[:i:i], r.cuts[i+1:]...)
+			}
+		})
+		r.applySilence()
+	})
+}
+
+// scheduleDiscoveryEvent schedules late announcements, and discovery servers that send nothing.
+func (e *scheduledEvent) scheduleDiscoveryEvent() {
+	r := e.run
+	switch e.What {
+	case "stale":
+		e.at(e.At, func() { r.updateCounts(func(*counts) { r.discoveryDelay += e.Delay }) })
+		e.atEnd(func() { r.updateCounts(func(*counts) { r.discoveryDelay -= e.Delay }) })
+	case "silent":
+		silence := func(silent bool) {
+			for _, in := range r.instances {
+				in.discovery.SetSilent(silent)
 			}
 		}
-		switch h.What {
-		case "slow", "errors", "mute", "full", "lies", "babble", "late-reports":
-			r.scheduleAt(ctx, beside, h.At, each(r.updateCondition))
-			over(each(r.updateCondition))
-		case "neighbour":
-			for at := h.At; at < min(h.Until, end); at += max(h.Every, 1_000_000) {
-				r.scheduleAt(ctx, beside, at, each(r.updateCondition))
-				if h.Every <= 0 {
-					break
-				}
+		e.at(e.At, func() { silence(true) })
+		e.atEnd(func() { silence(false) })
+	case "deaf":
+		silence := func(silent bool) {
+			for _, n := range e.Instances {
+				r.instances[n].discovery.SetSilent(silent)
 			}
-			over(each(r.updateCondition))
-		case "pause":
-			r.scheduleAt(ctx, beside, h.At, each(func(n int) { r.endpoints[n].pause(h.Until - h.At) }))
-		case "drain":
-			r.scheduleAt(ctx, beside, h.At, each(func(n int) { r.endpoints[n].drain() }))
-			over(each(up))
-		case "kill":
-			r.scheduleAt(ctx, beside, h.At, each(kill(false)))
-			over(each(up))
-		case "vanish":
-			r.scheduleAt(ctx, beside, h.At, each(kill(true)))
-			over(each(up))
-		case "rolling":
-			for k, n := range h.Endpoints {
-				if at := h.At + monotime.Micros(k)*h.Every; at < min(h.Until, end) {
-					r.scheduleAt(ctx, beside, at, func() { r.endpoints[n].drain() })
-					r.scheduleAt(ctx, beside, at+h.Every, func() { up(n) })
-				}
+		}
+		e.at(e.At, func() { silence(true) })
+		e.atEnd(func() { silence(false) })
+	}
+}
+
+// scheduleInstanceEvent schedules what happens to the load balancer's instances and their operators.
+func (e *scheduledEvent) scheduleInstanceEvent() {
+	r := e.run
+	switch e.What {
+	case "restart", "power":
+		e.scheduleRestart()
+	case "liar":
+		e.at(e.At, func() {
+			stop, err := r.startMisreporter(e.Sizes[0])
+			if err != nil {
+				r.fail(err)
+				return
 			}
-		case "cut":
-			pair := [2]int{h.Zone, h.To}
-			r.scheduleAt(ctx, beside, h.At, func() {
-				r.updateCounts(func(*counts) { r.cuts = append(r.cuts, pair) })
-				r.applySilence()
-			})
-			over(func() {
-				r.updateCounts(func(*counts) {
-					for j, c := range r.cuts {
-						if c == pair {
-							r.cuts = append(r.cuts[:j:j], r.cuts[j+1:]...)
-							break
-						}
-					}
-				})
-				r.applySilence()
-			})
-		case "stale":
-			r.scheduleAt(ctx, beside, h.At, func() { r.updateCounts(func(*counts) { r.discoveryDelay += h.Delay }) })
-			over(func() { r.updateCounts(func(*counts) { r.discoveryDelay -= h.Delay }) })
-		case "silent":
-			each := func(on bool) func() {
-				return func() {
-					for _, in := range r.instances {
-						in.discovery.SetSilent(on)
-					}
-				}
+			e.at(min(e.Until, e.runEnd), stop)
+		})
+	case "limits":
+		e.at(e.At, func() { r.scaleTenantLimits(e.Instances, e.Sizes[0]) })
+		e.atEnd(func() { r.scaleTenantLimits(e.Instances, 1) })
+	case "work":
+		e.at(e.At, func() { r.runMaintenance(e.ctx, e.PlannedEvent) })
+	case "upgrade":
+		e.at(e.At, func() {
+			for _, n := range e.Instances {
+				r.upgrade(r.instances[n])
 			}
-			r.scheduleAt(ctx, beside, h.At, each(true))
-			over(each(false))
-		case "restart", "power":
-			r.scheduleAt(ctx, beside, h.At, func() {
-				if h.What == "power" {
-					for n := range r.endpoints {
-						kill(false)(n)
-					}
-				}
-				for _, n := range h.Instances {
-					r.instances[n].kill()
-				}
-			})
-			back := func() {
-				if h.What == "power" {
-					for n := range r.endpoints {
-						up(n)
-					}
-				}
-				for _, n := range h.Instances {
-					if err := r.launch(r.instances[n]); err != nil {
-						r.fail(err)
-					}
-				}
+		})
+	case "freeze":
+		for at := e.At; at < min(e.Until, e.runEnd); at += 2 * e.Every {
+			until, _ := e.Frozen(at)
+			e.at(at, func() { r.freeze(e.Instances, until) })
+			e.at(until, func() { r.thaw(e.Instances) })
+			if e.Every <= 0 {
+				break
 			}
-			if h.Until < math.MaxInt64 {
-				over(back)
-			} else {
-				r.scheduleAt(ctx, beside, h.At+1_000_000, back)
+		}
+	}
+}
+
+// scheduleRestart kills instances, and all endpoints where the power fails, and starts them again.
+func (e *scheduledEvent) scheduleRestart() {
+	r := e.run
+	powerFails := e.What == "power"
+	e.at(e.At, func() {
+		if powerFails {
+			for n := range r.endpoints {
+				r.killEndpoint(n, false)
 			}
-		case "liar":
-			r.scheduleAt(ctx, beside, h.At, func() {
-				stop, err := r.startMisreporter(h.Sizes[0])
-				if err != nil {
-					r.fail(err)
-					return
-				}
-				r.scheduleAt(ctx, beside, min(h.Until, end), stop)
-			})
-		case "limits":
-			r.scheduleAt(ctx, beside, h.At, func() { r.scaleTenantLimits(h.Instances, h.Sizes[0]) })
-			over(func() { r.scaleTenantLimits(h.Instances, 1) })
-		case "work":
-			r.scheduleAt(ctx, beside, h.At, func() { r.runMaintenance(ctx, h) })
-		case "upgrade":
-			r.scheduleAt(ctx, beside, h.At, func() {
-				for _, n := range h.Instances {
-					r.upgrade(r.instances[n])
-				}
-			})
-		case "freeze":
-			for at := h.At; at < min(h.Until, end); at += 2 * h.Every {
-				until, _ := h.Frozen(at)
-				r.scheduleAt(ctx, beside, at, func() { r.freeze(h.Instances, until) })
-				r.scheduleAt(ctx, beside, until, func() { r.thaw(h.Instances) })
-				if h.Every <= 0 {
-					break
-				}
+		}
+		for _, n := range e.Instances {
+			r.instances[n].kill()
+		}
+	})
+	restart := func() {
+		if powerFails {
+			for n := range r.endpoints {
+				r.startEndpoint(n)
 			}
-		case "deaf":
-			deafen := func(on bool) func() {
-				return func() {
-					for _, n := range h.Instances {
-						r.instances[n].discovery.SetSilent(on)
-					}
-				}
+		}
+		for _, n := range e.Instances {
+			if err := r.launch(r.instances[n]); err != nil {
+				r.fail(err)
 			}
-			r.scheduleAt(ctx, beside, h.At, deafen(true))
-			over(deafen(false))
-		case "sever":
-			r.scheduleAt(ctx, beside, h.At, r.applySilence)
-			over(r.applySilence)
 		}
 	}
-	for n := range r.endpoints {
-		if p := r.endpoints[n].plan; p.PauseEvery > 0 && p.PauseFor > 0 {
-			beside.Go(func() { r.runRandomPauses(ctx, n) })
-		}
+	if e.Until < math.MaxInt64 {
+		e.atEnd(restart)
+	} else {
+		e.at(e.At+restartDelay, restart)
 	}
 }
 
-// pauses stops an endpoint for a moment now and then, at the same instants as in the model.
+// runRandomPauses pauses an endpoint now and then, at the same instants as in the simulation.
 func (r *run) runRandomPauses(ctx context.Context, n int) {
 	p := r.endpoints[n].plan
 	stream := randstream.New(r.plan.Seed, "pauses")
--- a/internal/experiment/processes/run.go
+++ b/internal/experiment/processes/run.go
@@ -174,7 +174,7 @@
 		e.mu.Unlock()
 	}
 	var beside sync.WaitGroup
-	r.schedule(ctx, &beside)
+	r.scheduleEvents(ctx, &beside)
 	for i := range r.instances {
 		beside.Go(func() { r.runClients(ctx, i) })
 	}
