--- a/internal/experiment/processes/client.go
+++ b/internal/experiment/processes/client.go
@@ -15,22 +15,22 @@
 	"dunlinsail/internal/simulation/simclient"
 )
 
-// lateMost is how long after its client's time an answer may come and not be missed, in microseconds: what the machine's
-// schedulers add is not the daemon's.
+// answerTolerance is how long after a client's deadline a response may come and not count as missing, in microseconds:
+// scheduling delays of the machine are not the daemon's.
 const answerTolerance = 50_000
 
-// story is a client's.
+// operation is an operation of a client, with what is known of it at the endpoints.
 type operation struct {
 	simclient.Operation
 	class       *balancer.Class
 	weight      float64
-	within      bool
-	serviceTime monotime.Micros // by its latest attempt that ran
-	effects     map[int]int     // of each try
-	arrivals    map[int]int     // attempts of each try that reached an endpoint
+	within      bool            // it starts within the period that is measured
+	serviceTime monotime.Micros // of its latest attempt that was executed
+	effects     map[int]int     // by the number of the client's request
+	arrivals    map[int]int     // attempts that reached an endpoint, by the number of the client's request
 }
 
-// ask has the clients of an instance ask, by the plan's clock.
+// runClients starts the operations of an instance's clients at their planned instants.
 func (r *run) runClients(ctx context.Context, instance int) {
 	next := r.plan.Operations(instance)
 	timer := time.NewTimer(0)
@@ -59,14 +59,14 @@
 		r.mu.Lock()
 		r.operations[s.ID] = s
 		s.weight, s.within = r.meter.Weight(&s.Operation)
-		// What a client waits for counts from when it wanted to ask, however late this goroutine is.
+		// Latency counts from the planned instant, however late this goroutine is.
 		t := s.Start(x.StartedAt, &r.clientBehavior, s.class, r.clientRand.For(s.ID, 0))
 		r.mu.Unlock()
 		r.openOperations.Go(func() { r.runOperation(ctx, s, t) })
 	}
 }
 
-// tell lives a story to its end.
+// runOperation makes the requests of an operation until it ends.
 func (r *run) runOperation(ctx context.Context, s *operation, t simclient.Request) {
 	for {
 		verdict, retryAfter := r.attempt(ctx, s, t)
@@ -86,66 +86,77 @@
 	}
 }
 
-// try makes one request and waits for what comes of it.
-func (r *run) attempt(ctx context.Context, s *operation, t simclient.Request) (simclient.RequestOutcome, monotime.Micros) {
-	began := r.now()
+// attempt makes one request of an operation and returns its outcome, and the response's Retry-After in microseconds.
+func (r *run) attempt(
+	ctx context.Context, s *operation, request simclient.Request,
+) (simclient.RequestOutcome, monotime.Micros) {
+	startedAt := r.now()
 	r.updateCounts(func(*counts) { r.meter.Costs.ClientRequests++ })
-	// A client that waits to the end is there a little longer, to see whether an answer that is owed comes at all.
-	until := t.Deadline + answerTolerance
-	if t.AbortAt > 0 {
-		until = t.AbortAt
+	// A client that does not abort stays a little longer, to see whether a response that is due comes at all.
+	until := request.Deadline + answerTolerance
+	if request.AbortAt > 0 {
+		until = request.AbortAt
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.wallTime(until))
 	defer cancel()
 	in := r.instances[s.Instance]
-	method := http.MethodGet
-	var body io.Reader
-	if s.class.Idempotency != balancer.Idempotent {
-		method, body = http.MethodPost, strings.NewReader("{}")
-	}
-	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/%s/x?s=%x&t=%d", in.listenAddrs[s.Process%len(in.listenAddrs)], s.class.Name, s.ID, t.Number), body)
-	if err != nil {
-		panic(err) // of our own making
-	}
-	left := max(1, (t.Deadline-r.now())/1000)
-	q.Header.Set("X-Trace-Id", fmt.Sprintf("%x-%d", s.ID, t.Number))
-	q.Header.Set("X-Qos", s.class.Name)
-	q.Header.Set("X-Object", fmt.Sprintf("%x", s.Object))
-	q.Header.Set("X-Expires-In-Ms", fmt.Sprint(left))
-	if s.Tenant >= 0 {
-		q.Header.Set("X-Customer", r.options.Criteria.Tenants[s.Tenant].Name)
-	}
-	if t.IdempotencyKey != 0 {
-		q.Header.Set("Idempotency-Key", fmt.Sprintf("%x", t.IdempotencyKey))
-	}
-	if t.Retry {
-		q.Header.Set("X-Second-Try", "1")
-	}
-	resp, err := in.httpClients[s.Process%len(in.httpClients)].Do(q)
+	resp, err := in.httpClients[s.Process%len(in.httpClients)].Do(r.httpRequest(ctx, in, s, request))
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 	}
 	if err != nil {
-		// An instance that was stopped meanwhile owes nothing.
-		if errors.Is(err, context.DeadlineExceeded) && t.AbortAt == 0 && in.suspendedUntil.Load() < began {
+		timedOut := errors.Is(err, context.DeadlineExceeded)
+		// A suspended instance cannot answer in time.
+		if timedOut && request.AbortAt == 0 && in.suspendedUntil.Load() < startedAt {
 			r.updateCounts(func(c *counts) { c.unanswered++ })
 		}
 		return simclient.NoResponse, 0
 	}
-	if r.now() > t.Deadline {
-		return simclient.NoResponse, 0 // it has left by then
+	if r.now() > request.Deadline {
+		return simclient.NoResponse, 0 // the client has left by then
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		r.updateCounts(func(*counts) { r.meter.Costs.UsefulWork += float64(s.serviceTime) })
 		return simclient.OK, 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		var after float64
+		var seconds float64
 		if text := resp.Header.Get("Retry-After"); text != "" {
-			after, _ = strconv.ParseFloat(text, 64)
+			seconds, _ = strconv.ParseFloat(text, 64)
 		}
-		return simclient.Rejected, monotime.Micros(after * 1e6)
+		return simclient.Rejected, monotime.Micros(seconds * 1e6)
 	}
 	return simclient.Failed, 0
 }
+
+// httpRequest returns a client's request as it is sent to an instance.
+func (r *run) httpRequest(ctx context.Context, in *instance, s *operation, request simclient.Request) *http.Request {
+	method := http.MethodGet
+	var body io.Reader
+	if s.class.Idempotency != balancer.Idempotent {
+		method = http.MethodPost
+		body = strings.NewReader("{}")
+	}
+	addr := in.listenAddrs[s.Process%len(in.listenAddrs)]
+	url := fmt.Sprintf("http://%s/%s/x?s=%x&t=%d", addr, s.class.Name, s.ID, request.Number)
+	q, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		panic(err) // the URL is always valid
+	}
+	remainingMS := max(1, (request.Deadline-r.now())/1000)
+	q.Header.Set("X-Trace-Id", fmt.Sprintf("%x-%d", s.ID, request.Number))
+	q.Header.Set("X-Qos", s.class.Name)
+	q.Header.Set("X-Object", fmt.Sprintf("%x", s.Object))
+	q.Header.Set("X-Expires-In-Ms", fmt.Sprint(remainingMS))
+	if s.Tenant >= 0 {
+		q.Header.Set("X-Customer", r.options.Criteria.Tenants[s.Tenant].Name)
+	}
+	if request.IdempotencyKey != 0 {
+		q.Header.Set("Idempotency-Key", fmt.Sprintf("%x", request.IdempotencyKey))
+	}
+	if request.Retry {
+		q.Header.Set("X-Second-Try", "1")
+	}
+	return q
+}
--- a/internal/experiment/processes/front.go
+++ b/internal/experiment/processes/front.go
@@ -73,10 +73,38 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
+	f.countAttempt(job)
+	pending := &pendingJob{make(chan simendpoint.Completion, 1), make(chan struct{})}
+	job.Job.HostData = pending
+	verdict := e.arrive(job)
+	if verdict == simendpoint.Accepted {
+		verdict = f.awaitJob(r.Context(), job, pending)
+	}
+	f.networkDelay()
+	if f.isSilenced(true) {
+		verdict = simendpoint.Unanswered
+	}
+	switch verdict {
+	case simendpoint.Rejected:
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case simendpoint.Failed:
+		w.WriteHeader(http.StatusInternalServerError)
+	case simendpoint.Unanswered:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+		_, _ = io.WriteString(w, r.Header.Get("X-Trace-Id")) // a client that has gone needs none
+	}
+}
+
+// countAttempt counts a request that has arrived.
+func (f *front) countAttempt(j *job) {
+	e := f.endpoint
 	e.run.maintenance.countRequest(e.index)
 	e.run.updateCounts(func(c *counts) {
 		c.attempts++
-		if job.retry {
+		if j.retry {
 			e.run.recordArrival(e.index, measure.ExtraAttempt)
 		} else {
 			e.run.recordArrival(e.index, measure.FirstAttempt)
@@ -85,40 +113,24 @@
 			c.crossZone++
 		}
 	})
-	wait := &pendingJob{make(chan simendpoint.Completion, 1), make(chan struct{})}
-	job.Job.HostData = wait
+}
+
+// arrive hands a request to the endpoint's state machine.
+func (e *endpoint) arrive(j *job) simendpoint.Verdict {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.advance()
-	fell := e.node.Collapsed()
-	v := simendpoint.Rejected
+	hadCollapsed := e.node.Collapsed()
+	verdict := simendpoint.Rejected
 	if e.node.Up() {
-		v = e.node.Arrive(e.run.now(), &job.Job)
+		verdict = e.node.Arrive(e.run.now(), &j.Job)
 	}
-	if !fell && e.node.Collapsed() {
+	if !hadCollapsed && e.node.Collapsed() {
 		e.run.updateCounts(func(c *counts) { c.collapses++ })
 	}
 	e.maxInFlight = max(e.maxInFlight, e.node.InFlight())
 	e.advance()
-	e.mu.Unlock()
-	if v == simendpoint.Accepted {
-		v = f.awaitJob(r.Context(), job, wait)
-	}
-	f.networkDelay()
-	if f.isSilenced(true) {
-		v = simendpoint.Unanswered
-	}
-	switch v {
-	case simendpoint.Rejected:
-		w.Header().Set("X-Never-Ran", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case simendpoint.Failed:
-		w.WriteHeader(http.StatusInternalServerError)
-	case simendpoint.Unanswered:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	default:
-		_, _ = io.WriteString(w, r.Header.Get("X-Trace-Id")) // a client that has gone needs none
-	}
+	return verdict
 }
 
 // wait waits for a request's end at the endpoint.
--- a/internal/experiment/processes/run.go
+++ b/internal/experiment/processes/run.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,7 +77,7 @@
 	fail             context.CancelCauseFunc // ends the run with an error
 }
 
-// arrived notes what came at an endpoint. The caller counts: it holds mu.
+// recordArrival records a request, probe or connection at an endpoint. The caller holds mu.
 func (r *run) recordArrival(node int, what measure.Arrival) {
 	if r.meter != nil {
 		r.meter.RecordArrival(r.now(), node, what)
@@ -89,13 +90,13 @@
 	f(&r.counts)
 }
 
-// group is endpoints that share which keys they have seen, and a lock for that.
+// group is the endpoints of a cell, which share the idempotency keys that they have seen, and the lock of these.
 type group struct {
 	sync.Mutex
 	keys *simendpoint.DedupGroup
 }
 
-// group returns that of a cell.
+// groupOf returns the deduplication group of a cell.
 func (r *run) groupOf(cell int) *group {
 	if r.groups[cell] == nil {
 		var window monotime.Micros
@@ -109,17 +110,11 @@
 	return r.groups[cell]
 }
 
-// Run plays a plan, and returns what it came to.
+// Run plays a plan and returns its figures. It returns an error where the settings are invalid, a process does not
+// start or ends unexpectedly, or ctx ends: then the error is ctx's cause.
 func Run(ctx context.Context, o Options) (*measure.Result, error) {
-	own, err := config.Parse(o.Settings)
+	r, err := newRun(o)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	r := &run{maintenance: &maintenanceRun{underMaintenance: map[int]bool{}}, options: o, plan: o.Plan, config: own, site: &own.Site, clientBehavior: o.Plan.ClientBehavior(), groups: map[int]*group{}, reportRand: rand.New(&lockedSource{src: rand.NewPCG(o.Plan.Seed, 5)}),
-		operations: map[uint64]*operation{}, lastAnnounced: make([]monotime.Micros, len(o.Plan.Endpoints))}
-	seed := o.Plan.Seed
-	r.workNoise, r.outcomeRand, r.clientRand, r.discoveryRand = randstream.New(seed, "noise"), randstream.New(seed, "luck"), randstream.New(seed, "callers"), randstream.New(seed, "discovery")
-	if err := r.mapClassesAndTenants(); err != nil {
 		return nil, err
 	}
 	if r.workDir, err = os.MkdirTemp("", "dunlinlab"); err != nil {
@@ -130,40 +125,97 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.fail = cancel
+	if err := r.startProcesses(ctx); err != nil {
+		return nil, err
+	}
+	workBefore := r.startClock()
+	var background sync.WaitGroup
+	r.scheduleEvents(ctx, &background)
+	for i := range r.instances {
+		background.Go(func() { r.runClients(ctx, i) })
+	}
+	background.Wait()
+	r.openOperations.Wait()
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	for _, in := range r.instances {
+		in.kill() // its log of spent quota is complete then
+	}
+	if err := r.readSpent(); err != nil {
+		return nil, err
+	}
+	return r.result(workBefore), nil
+}
+
+func newRun(o Options) (*run, error) {
+	parsed, err := config.Parse(o.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	seed := o.Plan.Seed
+	r := &run{
+		options:        o,
+		plan:           o.Plan,
+		config:         parsed,
+		site:           &parsed.Site,
+		clientBehavior: o.Plan.ClientBehavior(),
+		maintenance:    &maintenanceRun{underMaintenance: map[int]bool{}},
+		groups:         map[int]*group{},
+		reportRand:     rand.New(&lockedSource{src: rand.NewPCG(seed, 5)}),
+		operations:     map[uint64]*operation{},
+		lastAnnounced:  make([]monotime.Micros, len(o.Plan.Endpoints)),
+		workNoise:      randstream.New(seed, "noise"),
+		outcomeRand:    randstream.New(seed, "luck"),
+		clientRand:     randstream.New(seed, "callers"),
+		discoveryRand:  randstream.New(seed, "discovery"),
+	}
+	if err := r.mapClassesAndTenants(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// startProcesses opens the endpoints' listeners, starts all instances and waits until they serve.
+func (r *run) startProcesses(ctx context.Context) error {
 	r.base = time.Now()
-	for i := range o.Plan.Endpoints {
+	for i := range r.plan.Endpoints {
 		e := newEndpoint(r, i)
 		r.endpoints = append(r.endpoints, e)
 		if err := e.listen(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err := r.setUpPeers(); err != nil {
-		return nil, err
+		return err
 	}
-	for i := range o.Plan.Instances {
+	for i := range r.plan.Instances {
 		in, err := r.newInstance(i)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		r.instances = append(r.instances, in)
 	}
 	for _, in := range r.instances {
 		if err := r.awaitReady(ctx, in); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	// The run begins now: what endpoints were before counts for nothing.
+	return nil
+}
+
+// startClock sets the run's clock to 0 and drops what was counted while the processes started. It returns the work
+// that endpoints had done until then, negated.
+func (r *run) startClock() (workBefore float64) {
 	r.updateCounts(func(c *counts) {
 		*c = counts{}
-		r.meter = measure.New(o.Criteria, o.Plan.Length.Micros(), len(o.Plan.Fleet.Zones))
-		r.meter.SetFaultPeriod(o.Plan.EventPeriod())
-		r.meter.SetEnvironment(measure.Environment{Capacity: o.Plan.CapacityAt, Serving: o.Plan.InstanceServing})
+		r.meter = measure.New(r.options.Criteria, r.plan.Length.Micros(), len(r.plan.Fleet.Zones))
+		r.meter.SetFaultPeriod(r.plan.EventPeriod())
+		r.meter.SetEnvironment(measure.Environment{Capacity: r.plan.CapacityAt, Serving: r.plan.InstanceServing})
 	})
-	var worked float64
 	for _, e := range r.endpoints {
 		e.mu.Lock()
-		worked -= e.node.WorkDone()
+		workBefore -= e.node.WorkDone()
 		e.executions = 0
 		e.mu.Unlock()
 	}
@@ -173,83 +225,74 @@
 		e.node.Start(0, !e.plan.StartsWithRun)
 		e.mu.Unlock()
 	}
-	var beside sync.WaitGroup
-	r.scheduleEvents(ctx, &beside)
-	for i := range r.instances {
-		beside.Go(func() { r.runClients(ctx, i) })
-	}
-	beside.Wait()
-	r.openOperations.Wait()
-	if ctx.Err() != nil {
-		return nil, context.Cause(ctx)
-	}
-	for _, in := range r.instances {
-		in.kill() // what they spent is whole then
-	}
-	if err := r.readSpent(); err != nil {
-		return nil, err
-	}
-	return r.result(worked), nil
+	return workBefore
 }
 
-// locked is a source for several callers.
+// lockedSource is a random source that is safe for concurrent use.
 type lockedSource struct {
 	mu  sync.Mutex
 	src *rand.PCG
 }
 
-// Uint64 draws.
+// Uint64 returns the next random number.
 func (l *lockedSource) Uint64() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.src.Uint64()
 }
 
-func (r *run) result(worked float64) *measure.Result {
-	var nodes []measure.EndpointLoad
+// result returns the run's figures. workBefore is the endpoints' work before the run, negated.
+func (r *run) result(workBefore float64) *measure.Result {
+	work := workBefore
+	var loads []measure.EndpointLoad
 	for i, e := range r.endpoints {
-		n := &r.plan.Endpoints[i]
+		planned := &r.plan.Endpoints[i]
 		e.mu.Lock()
-		worked += e.node.WorkDone()
-		nodes = append(nodes, measure.EndpointLoad{Name: n.Name, Zone: n.Zone, Executions: e.executions, MaxInFlight: e.maxInFlight,
-			Utilization: e.node.WorkDone() / n.Config.Speed / float64(n.Config.Cores) / float64(r.now())})
+		done := e.node.WorkDone()
+		work += done
+		loads = append(loads, measure.EndpointLoad{
+			Name:        planned.Name,
+			Zone:        planned.Zone,
+			Executions:  e.executions,
+			MaxInFlight: e.maxInFlight,
+			Utilization: done / planned.Config.Speed / float64(planned.Config.Cores) / float64(r.now()),
+		})
 		e.mu.Unlock()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock() // probes still come
-	c := &r.meter.Costs
-	c.Attempts, c.CrossZone, c.Dials, c.Probes = r.counts.attempts, r.counts.crossZone, r.counts.dials, r.counts.probes
-	c.Collapses, c.DuplicateEffects, c.ClientDuplicateEffects, c.LateResponses = r.counts.collapses, r.counts.duplicateEffects, r.counts.clientDuplicateEffects, r.counts.unanswered
-	c.ExecutedWork = worked
-	if l := r.maintenance; l.requested > 0 {
-		r.meter.RecordMaintenance(l.requested, l.completed, l.requestsDuring, l.duration)
+	costs := &r.meter.Costs
+	costs.Attempts = r.counts.attempts
+	costs.CrossZone = r.counts.crossZone
+	costs.Dials = r.counts.dials
+	costs.Probes = r.counts.probes
+	costs.Collapses = r.counts.collapses
+	costs.DuplicateEffects = r.counts.duplicateEffects
+	costs.ClientDuplicateEffects = r.counts.clientDuplicateEffects
+	costs.LateResponses = r.counts.unanswered
+	costs.ExecutedWork = work
+	if m := r.maintenance; m.requested > 0 {
+		r.meter.RecordMaintenance(m.requested, m.completed, m.requestsDuring, m.duration)
 	}
 	result := r.meter.Result()
-	result.Scenario, result.Seed, result.Elapsed, result.Endpoints = r.plan.Name, r.plan.Seed, time.Duration(r.now())*time.Microsecond, nodes
+	result.Scenario = r.plan.Name
+	result.Seed = r.plan.Seed
+	result.Elapsed = time.Duration(r.now()) * time.Microsecond
+	result.Endpoints = loads
 	return result
 }
 
-// fit finds the plan's classes and tenants among the judge's.
+// mapClassesAndTenants finds the index of each of the plan's classes and tenants among the criteria's.
 func (r *run) mapClassesAndTenants() error {
 	for _, c := range r.plan.Classes {
-		at := -1
-		for i, j := range r.options.Criteria.Classes {
-			if j.Name == c.Name {
-				at = i
-			}
-		}
+		at := slices.IndexFunc(r.options.Criteria.Classes, func(known balancer.Class) bool { return known.Name == c.Name })
 		if at < 0 {
 			return fmt.Errorf("the scenario's class %q is none of the settings' classes", c.Name)
 		}
 		r.criteriaClass = append(r.criteriaClass, at)
 	}
 	for _, t := range r.plan.Tenants {
-		at := -1
-		for i, j := range r.options.Criteria.Tenants {
-			if j.Name == t.Name {
-				at = i
-			}
-		}
+		at := slices.IndexFunc(r.options.Criteria.Tenants, func(known balancer.Tenant) bool { return known.Name == t.Name })
 		if at < 0 {
 			return fmt.Errorf("the scenario's tenant %q is none of the settings' tenants", t.Name)
 		}
