--- a/internal/experiment/processes/client.go
+++ b/internal/experiment/processes/client.go
@@ -72,7 +72,9 @@
 		verdict, retryAfter := r.attempt(ctx, s, t)
 		r.mu.Lock()
 		now := r.now()
-		at, again := s.RequestEnded(now, t.Number, verdict, retryAfter, s.class, r.clientRand.For(s.ID, uint64(2*t.Number+1)))
+		at, again := s.RequestEnded(
+			now, t.Number, verdict, retryAfter, s.class, r.clientRand.For(s.ID, uint64(2*t.Number+1)),
+		)
 		if !again {
 			r.meter.OperationEnded(&s.Operation, r.plan.Instances[s.Instance].Zone, s.weight, s.within)
 			r.mu.Unlock()
--- a/internal/experiment/processes/discovery.go
+++ b/internal/experiment/processes/discovery.go
@@ -11,8 +11,12 @@
 // entry is an endpoint's entry for an instance.
 func (r *run) discoveryEntry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
 	p := &r.plan.Endpoints[n]
-	e := discovery.Instance{ID: p.Name, Address: r.endpoints[n].fronts[instance].addr, Zone: r.plan.Fleet.Zones[p.Zone], Kind: r.plan.Scenario.EndpointKinds[p.Kind].Kind,
-		Cell: uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
+	e := discovery.Instance{
+		ID:      p.Name,
+		Address: r.endpoints[n].fronts[instance].addr,
+		Zone:    r.plan.Fleet.Zones[p.Zone],
+		Kind:    r.plan.Scenario.EndpointKinds[p.Kind].Kind,
+		Cell:    uint16(p.Cell), Lifecycle: lifecycle, Weight: float32(p.Config.Cores)}
 	if started > 0 {
 		e.StartedMs = r.wallTime(started).UnixMilli()
 	}
--- a/internal/experiment/processes/endpoint.go
+++ b/internal/experiment/processes/endpoint.go
@@ -16,7 +16,8 @@
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// endpoint is an endpoint of a plan behind sockets: one listener for each instance, since the way from each is its own.
+// endpoint is an endpoint of a plan behind sockets: one listener for each instance, since each has a network path of
+// its own to it.
 type endpoint struct {
 	run   *run
 	index int
@@ -27,7 +28,7 @@
 	timer          *time.Timer
 	nextCompletion monotime.Micros // when the next request ends
 	draining       bool
-	vanished       bool // its machine has vanished: it takes what comes, and says nothing
+	vanished       bool // its machine is gone without closing connections: it accepts requests and never answers
 	executions     int64
 	maxInFlight    int
 	conns          map[net.Conn]struct{}
@@ -36,16 +37,23 @@
 	fronts   []*front
 }
 
-// waiting is a request that an endpoint holds.
+// pendingJob is a request that an endpoint executes or queues.
 type pendingJob struct {
 	ended  chan simendpoint.Completion
-	killed chan struct{} // closed when its process dies
+	killed chan struct{} // closed when the endpoint is killed
 }
 
 func newEndpoint(r *run, n int) *endpoint {
 	p := &r.plan.Endpoints[n]
 	g := r.groupOf(p.Cell)
-	e := &endpoint{run: r, index: n, plan: p, mu: &g.Mutex, node: simendpoint.New(p.Config, g.keys), conns: map[net.Conn]struct{}{}}
+	e := &endpoint{
+		run:   r,
+		index: n,
+		plan:  p,
+		mu:    &g.Mutex,
+		node:  simendpoint.New(p.Config, g.keys),
+		conns: map[net.Conn]struct{}{},
+	}
 	e.node.Start(0, !p.StartsWithRun)
 	e.timer = time.AfterFunc(time.Hour, e.onTimer)
 	for i := range r.plan.Instances {
@@ -54,14 +62,14 @@
 	return e
 }
 
-// listen opens the listeners, at the addresses that they had before.
+// listen opens the listeners, at the same addresses each time.
 func (e *endpoint) listen() error {
 	e.frontsMu.Lock()
 	defer e.frontsMu.Unlock()
 	for _, f := range e.fronts {
 		if f.addr == "" {
 			var err error
-			if f.addr, err = freeport.Free(); err != nil { // it listens there again after each fall
+			if f.addr, err = freeport.Free(); err != nil { // kept: it listens there again after a restart
 				return err
 			}
 		}
@@ -69,8 +77,13 @@
 		if err != nil {
 			return err
 		}
-		f.listener, f.done = ln, make(chan struct{})
-		f.http = &http.Server{Handler: f, IdleTimeout: time.Duration(e.plan.Idle) * time.Microsecond, ConnState: e.onConnState}
+		f.listener = ln
+		f.done = make(chan struct{})
+		f.http = &http.Server{
+			Handler:     f,
+			IdleTimeout: time.Duration(e.plan.Idle) * time.Microsecond,
+			ConnState:   e.onConnState,
+		}
 		go func() {
 			defer close(f.done)
 			f.http.Serve(ln)
@@ -79,7 +92,7 @@
 	return e.applySilenceLocked()
 }
 
-// hush has the listeners be silent or not, as things stand.
+// applySilence silences the listeners for instances that cannot reach the endpoint now, and opens the others.
 func (e *endpoint) applySilence() error {
 	e.frontsMu.Lock()
 	defer e.frontsMu.Unlock()
@@ -96,7 +109,7 @@
 	return g.Wait()
 }
 
-// state counts connections.
+// onConnState tracks the open connections.
 func (e *endpoint) onConnState(c net.Conn, s http.ConnState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -114,7 +127,7 @@
 	}
 }
 
-// close ends the listeners and all connections, which are reset.
+// close closes the listeners and resets all connections.
 func (e *endpoint) close() {
 	e.mu.Lock()
 	for c := range e.conns {
@@ -134,13 +147,13 @@
 	}
 }
 
-// work takes what has ended by now, and arms the timer for what ends next. The caller holds mu.
+// advance completes the requests that have ended by now, and arms the timer for the next. The caller holds mu.
 func (e *endpoint) advance() {
 	now := e.run.now()
 	for _, x := range e.node.Advance(now) {
 		e.executions++
 		w := x.Job.HostData.(*pendingJob)
-		w.ended <- x // has room for one
+		w.ended <- x // buffered
 	}
 	if at, ok := e.node.NextCompletion(); ok {
 		e.nextCompletion = at
@@ -162,7 +175,7 @@
 	}
 }
 
-// set changes what goes wrong.
+// setCondition replaces the endpoint's faults.
 func (e *endpoint) setCondition(c simendpoint.Condition) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -171,7 +184,7 @@
 	e.advance()
 }
 
-// pause stops it for a while.
+// pause suspends the endpoint, in microseconds.
 func (e *endpoint) pause(length monotime.Micros) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -182,7 +195,7 @@
 	e.advance()
 }
 
-// kill ends the process. Of a machine that vanishes nothing is heard any more, neither on its connections nor on new ones.
+// kill ends the process. A machine that vanishes stays silent instead, on its connections and on new ones.
 func (e *endpoint) kill(silent bool) {
 	e.mu.Lock()
 	if !e.node.Up() {
@@ -193,7 +206,8 @@
 	for _, j := range e.node.Kill(e.run.now()) {
 		close(j.HostData.(*pendingJob).killed)
 	}
-	e.draining, e.vanished = false, silent
+	e.draining = false
+	e.vanished = silent
 	e.mu.Unlock()
 	if !silent {
 		e.close()
@@ -202,7 +216,7 @@
 	}
 }
 
-// drain has it finish what it holds, and end.
+// drain stops the endpoint once it has finished the requests in flight.
 func (e *endpoint) drain() {
 	e.mu.Lock()
 	up := e.node.Up() && !e.draining
@@ -226,23 +240,25 @@
 	e.run.announceState(e.index, balancer.Gone, false)
 }
 
-// start has it come up, cold.
+// start starts the endpoint again, with a slow start.
 func (e *endpoint) start() error {
 	e.mu.Lock()
 	if e.node.Up() && !e.draining {
 		e.mu.Unlock()
 		return nil
 	}
-	up, mute := e.node.Up(), e.vanished
+	up := e.node.Up()
+	vanished := e.vanished
 	e.mu.Unlock()
 	if up {
 		e.kill(false)
 	}
-	if mute {
+	if vanished {
 		e.close()
 	}
 	e.mu.Lock()
-	e.vanished, e.draining = false, false
+	e.vanished = false
+	e.draining = false
 	e.node.Start(e.run.now(), false)
 	e.mu.Unlock()
 	e.run.announceState(e.index, balancer.Ready, false)
--- a/internal/experiment/processes/front.go
+++ b/internal/experiment/processes/front.go
@@ -25,7 +25,8 @@
 	done     chan struct{}
 }
 
-// isSilenced reports whether the endpoint is unreachable for the instance; back says that the way of responses is meant.
+// isSilenced reports whether the endpoint is unreachable for the instance; back says that the way of responses is
+// meant.
 func (f *front) isSilenced(back bool) bool {
 	e := f.endpoint
 	e.mu.Lock()
--- a/internal/experiment/processes/job.go
+++ b/internal/experiment/processes/job.go
@@ -18,8 +18,8 @@
 	retry     bool // the instance sent another attempt of the same client request before
 }
 
-// parseJob returns the job of an HTTP request, by the IDs in its URL. Its work and chance are drawn by these IDs, so that
-// they do not depend on the order of arrival.
+// parseJob returns the job of an HTTP request, by the IDs in its URL. Its work and chance are drawn by these IDs, so
+// that they do not depend on the order of arrival.
 func (r *run) parseJob(q *http.Request) (*job, error) {
 	v := q.URL.Query()
 	id, err := strconv.ParseUint(v.Get("s"), 16, 64)
--- a/internal/experiment/processes/listener.go
+++ b/internal/experiment/processes/listener.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// gate is a listener that can fall silent, as a machine does that has vanished or is cut off: who connects hears nothing,
-// and waits. The kernel does that where a socket's queue of connections is full: it passes over what asks to be let in.
+// silenceableListener is a listener that can stop answering connection requests, as a machine behind a network
+// partition does: clients wait until they time out. It fills the socket's accept queue, whereupon the kernel drops
+// SYNs.
 type silenceableListener struct {
 	*net.TCPListener
 
@@ -19,14 +20,14 @@
 	silent      bool
 	parked      bool // Accept waits for the silence to end
 	closed      bool
-	queueFiller net.Conn            // what the queue is full of
-	fillerAddrs map[string]struct{} // by the address that it is from; not yet accepted
+	queueFiller net.Conn            // fills the accept queue
+	fillerAddrs map[string]struct{} // local addresses of fillers that are not yet accepted
 }
 
-// backlog is that of a gate that listens; the kernel takes less where it is set to.
+// backlog is the length of the accept queue; the kernel may cap it (net.core.somaxconn).
 const backlog = 4096
 
-// fillWithin is how long is waited for the queue to be full. It is at once, unless it was before.
+// fillTimeout bounds the connection that fills the queue: it succeeds at once, or the queue is full already.
 const fillTimeout = 100 * time.Millisecond
 
 func newSilenceableListener(addr string) (*silenceableListener, error) {
@@ -39,7 +40,7 @@
 	return g, nil
 }
 
-// Accept waits for a connection, and for the end of a silence.
+// Accept waits for the next connection, during a silence for its end.
 func (g *silenceableListener) Accept() (net.Conn, error) {
 	for {
 		c, err := g.TCPListener.Accept()
@@ -68,7 +69,7 @@
 	}
 }
 
-// silence has the gate fall silent, or ends that.
+// setSilent begins or ends a silence.
 func (g *silenceableListener) setSilent(yes bool) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,7 +88,7 @@
 		return err
 	}
 	g.SetDeadline(time.Unix(1, 0))
-	// An Accept that is under way may still take one out of the queue: what fills it must not be that one.
+	// An Accept in progress would take the filler out of the queue.
 	for !g.parked && !g.closed {
 		g.changed.Wait()
 	}
@@ -97,7 +98,7 @@
 	if err := g.setBacklog(0); err != nil {
 		return err
 	}
-	// One that waits fills a queue for none. If it is not let in, the queue is full already.
+	// A backlog of 0 holds one connection. If dialing fails, the queue is full already.
 	if c, err := net.DialTimeout("tcp", g.Addr().String(), fillTimeout); err == nil {
 		g.queueFiller = c
 		g.fillerAddrs[c.LocalAddr().String()] = struct{}{}
@@ -105,7 +106,7 @@
 	return nil
 }
 
-// listen changes how long the socket's queue is.
+// setBacklog changes the length of the socket's accept queue.
 func (g *silenceableListener) setBacklog(n int) error {
 	raw, err := g.SyscallConn()
 	if err != nil {
@@ -117,7 +118,7 @@
 	return err
 }
 
-// Close ends the listener, a silence too: who connects from then on is refused.
+// Close closes the listener and ends a silence: new connections are refused.
 func (g *silenceableListener) Close() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/experiment/processes/listener_test.go
+++ b/internal/experiment/processes/listener_test.go
@@ -12,8 +12,8 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-// Who connects to a silent gate hears nothing, neither yes nor no; before and after that it is let in, and nobody but who
-// connects is.
+// Who connects to a silent gate hears nothing, neither yes nor no; before and after that it is let in, and nobody but
+// who connects is.
 func TestSilencedListenerTimesOutConnections(t *testing.T) {
 	g, err := newSilenceableListener("127.0.0.1:0")
 	if err != nil {
--- a/internal/experiment/processes/maintenance.go
+++ b/internal/experiment/processes/maintenance.go
@@ -18,21 +18,19 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// This file is the operator who has machines taken out for work, at whichever instance answers: it asks for all of them at once, works for
-// a while at each that is free, and says that it is done. What reaches a machine in between is counted there.
-
-// labour is what the operator does, and what it comes to.
+// maintenanceRun is the state of an operator's maintenance of machines, and the requests that reach a machine
+// meanwhile.
 type maintenanceRun struct {
 	mu               sync.Mutex
-	underMaintenance map[int]bool // endpoints at work, by their places
-	requestsDuring   int          // requests that reached one
-	completed        int          // machines that are back
-	requested        int
-	duration         monotime.Micros // until all were
-	phaseTimes       []monotime.Micros
+	underMaintenance map[int]bool      // by the endpoint's index
+	requestsDuring   int               // requests that reached a machine under maintenance
+	completed        int               // machines that are back in service
+	requested        int               // machines
+	duration         monotime.Micros   // until all were back; 0 before
+	phaseTimes       []monotime.Micros // from the request until each machine was drained
 }
 
-// atWork counts a request at a machine that is at work.
+// countRequest counts a request at an endpoint if its machine is under maintenance.
 func (l *maintenanceRun) countRequest(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,7 +39,7 @@
 	}
 }
 
-// workTables fills in what differs between instances, of a file that has work on.
+// addMaintenanceTables adds an instance's admin address and state path to a file that has maintenance on.
 func (r *run) addMaintenanceTables(in *instance, doc map[string]any) error {
 	table, _ := doc["work"].(map[string]any)
 	if table == nil || !r.config.Maintenance.On {
@@ -65,7 +63,7 @@
 	pollInterval = 50 * time.Millisecond
 )
 
-// call calls operators' path at some instance that answers, beginning with one that differs from turn to turn.
+// callAnyInstance calls an admin path at the first instance that answers, beginning with another one each turn.
 func (r *run) callAnyInstance(ctx context.Context, turn int, path string, body any) ([]byte, error) {
 	var err error
 	for i := range r.instances {
--- a/internal/experiment/processes/relay.go
+++ b/internal/experiment/processes/relay.go
@@ -12,15 +12,12 @@
 	"dunlinsail/internal/monotime"
 )
 
-// This file has the daemons know of one another: an address for each, a relay on each way between two of them where something
-// goes wrong on those, and what all of them spent of the fleet's budgets, joined.
-
-// relay is the way from one instance to another: what is sent to it goes on to that, unless the plan has nothing pass.
+// relay forwards gossip from one instance to another, over UDP and TCP, unless a fault of the plan blocks it.
 type relay struct {
 	run      *run
 	from, to int
-	addr     string // where the one finds the other
-	target   string // and where that is
+	addr     string // that the sender uses
+	target   string // the receiver's own address
 	udp      net.PacketConn
 	tcp      net.Listener
 	done     sync.WaitGroup
@@ -47,10 +44,12 @@
 	return y, nil
 }
 
-// passes says whether anything gets from the one to the other now.
+// isOpen reports whether messages pass now.
 func (y *relay) isOpen() bool {
 	p := y.run.plan
-	return !p.Partitioned(y.run.now(), y.from, y.to) && !y.run.isPartitioned(p.Instances[y.from].Zone, p.Instances[y.to].Zone)
+	return !p.Partitioned(y.run.now(), y.from, y.to) && !y.run.isPartitioned(
+		p.Instances[y.from].Zone, p.Instances[y.to].Zone,
+	)
 }
 
 func (y *relay) relayPackets() {
@@ -69,15 +68,17 @@
 		if !y.isOpen() {
 			continue
 		}
-		more, twice := y.run.plan.MessageDelay(y.run.now(), y.from, [3]float64{rand.Float64(), rand.Float64(), rand.Float64()})
-		if more == 0 && !twice {
-			_, _ = out.Write(b[:n]) // that nobody listens there is as if it were lost
+		delay, duplicate := y.run.plan.MessageDelay(
+			y.run.now(), y.from, [3]float64{rand.Float64(), rand.Float64(), rand.Float64()},
+		)
+		if delay == 0 && !duplicate {
+			_, _ = out.Write(b[:n]) // an unreachable receiver is as a lost packet
 			continue
 		}
-		text := bytes.Clone(b[:n])
-		y.sendAfter(more, func() { _, _ = out.Write(text) })
-		if twice {
-			y.sendAfter(monotime.Micros(rand.Float64()*float64(more)), func() { _, _ = out.Write(text) })
+		packet := bytes.Clone(b[:n])
+		y.sendAfter(delay, func() { _, _ = out.Write(packet) })
+		if duplicate {
+			y.sendAfter(monotime.Micros(rand.Float64()*float64(delay)), func() { _, _ = out.Write(packet) })
 		}
 	}
 }
@@ -92,12 +93,12 @@
 	}
 }
 
-// later does something after a while, unless the run is over by then.
+// sendAfter calls send after a delay in microseconds.
 func (y *relay) sendAfter(after monotime.Micros, do func()) {
 	time.AfterFunc(time.Duration(after)*time.Microsecond, do)
 }
 
-// stream takes a connection on. Where nothing passes it hears nothing, as its caller would on a way that is cut.
+// relayStream forwards a connection. While messages do not pass it accepts data and answers nothing.
 func (y *relay) relayStream(c net.Conn) {
 	y.addConn(c)
 	defer y.closeConn(c)
--- a/internal/experiment/processes/run.go
+++ b/internal/experiment/processes/run.go
@@ -295,14 +295,18 @@
 // mapClassesAndTenants finds the index of each of the plan's classes and tenants among the criteria's.
 func (r *run) mapClassesAndTenants() error {
 	for _, c := range r.plan.Classes {
-		at := slices.IndexFunc(r.options.Criteria.Classes, func(known balancer.Class) bool { return known.Name == c.Name })
+		at := slices.IndexFunc(
+			r.options.Criteria.Classes, func(known balancer.Class) bool { return known.Name == c.Name },
+		)
 		if at < 0 {
 			return fmt.Errorf("the scenario's class %q is none of the settings' classes", c.Name)
 		}
 		r.criteriaClass = append(r.criteriaClass, at)
 	}
 	for _, t := range r.plan.Tenants {
-		at := slices.IndexFunc(r.options.Criteria.Tenants, func(known balancer.Tenant) bool { return known.Name == t.Name })
+		at := slices.IndexFunc(
+			r.options.Criteria.Tenants, func(known balancer.Tenant) bool { return known.Name == t.Name },
+		)
 		if at < 0 {
 			return fmt.Errorf("the scenario's tenant %q is none of the settings' tenants", t.Name)
 		}
--- a/internal/experiment/processes/run_test.go
+++ b/internal/experiment/processes/run_test.go
@@ -88,7 +88,13 @@
 	}
 	set := &c.Site.Settings
 	return Options{Plan: s.Draw(1), Settings: deploy.Daemon, Daemon: self,
-		Criteria: measure.Criteria{Classes: set.Classes, Tenants: set.Tenants, OverQuotaWeight: set.OverQuotaWeight, Goal: set.Goal, Prices: set.Prices}}
+		Criteria: measure.Criteria{
+			Classes:         set.Classes,
+			Tenants:         set.Tenants,
+			OverQuotaWeight: set.OverQuotaWeight,
+			Goal:            set.Goal,
+			Prices:          set.Prices,
+		}}
 }
 
 // wanted counts the stories of a plan.
@@ -103,8 +109,8 @@
 	return n
 }
 
-// Whatever goes wrong at endpoints, every story that the plan has is begun and comes to its end, nothing takes effect twice,
-// and no client that waits is left without an answer.
+// Whatever goes wrong at endpoints, every story that the plan has is begun and comes to its end, nothing takes effect
+// twice, and no client that waits is left without an answer.
 func TestRunCompletesEveryOperationDespiteFaults(t *testing.T) {
 	o := options(t, world+`
 [[event]]
@@ -136,7 +142,9 @@
 		t.Errorf("%d stories, the plan has %d", got.Operations, want)
 	}
 	if c := &got.Costs; c.DuplicateEffects > 0 || c.LateResponses > 0 || c.Collapses > 0 {
-		t.Errorf("took effect twice %d, without an answer %d, fell %d", c.DuplicateEffects, c.LateResponses, c.Collapses)
+		t.Errorf(
+			"took effect twice %d, without an answer %d, fell %d", c.DuplicateEffects, c.LateResponses, c.Collapses,
+		)
 	}
 	if got.Figures["served"] < 0.8 || got.Costs.Probes == 0 || got.Costs.Dials == 0 || got.Costs.Attempts < got.Served {
 		t.Errorf("served %v; %+v", got.Figures["served"], got.Costs)
--- a/internal/experiment/processes/sidecar.go
+++ b/internal/experiment/processes/sidecar.go
@@ -10,33 +10,40 @@
 	"dunlinsail/internal/discovery"
 )
 
-// This file starts the platform's sidecar in the daemon's place: the same site, told as the platform tells it.
-
-// wireFields are the figures of a load report by their names on the platform.
-var wireFields = map[balancer.LoadMetric]string{balancer.MetricInflight: "busy_reqs", balancer.MetricQueueLength: "pending", balancer.MetricUtilization: "cpu_share",
-	balancer.MetricLatency: "svc_ms", balancer.MetricServedRate: "served_ps", balancer.MetricErrorRate: "failed_ps"}
+// platformLoadFields are the platform's names of the fields of a load report.
+var platformLoadFields = map[balancer.LoadMetric]string{
+	balancer.MetricInflight:    "busy_reqs",
+	balancer.MetricQueueLength: "pending",
+	balancer.MetricUtilization: "cpu_share",
+	balancer.MetricLatency:     "svc_ms",
+	balancer.MetricServedRate:  "served_ps",
+	balancer.MetricErrorRate:   "failed_ps",
+}
 
-// isSidecar says whether the program is the platform's sidecar, by its name.
+// isSidecar reports whether a program is the platform's sidecar, by its name.
 func isSidecar(program string) bool {
 	return strings.TrimSuffix(filepath.Base(program), ".test") == "dunlinsail"
 }
 
-// sidecarFile is an instance's configuration as the platform writes it.
+// sidecarConfig returns an instance's configuration as the platform writes it.
 func (r *run) sidecarConfig(in *instance) ([]byte, error) {
+	// The platform gives the endpoints known at the start.
+	known := discovery.List{Generation: 1, Reset: true, Instances: r.discoveryEntries(in.index)}
+	return json.Marshal(map[string]any{
+		"known":     known,
+		"name":      fmt.Sprint("instance-", in.index),
+		"listen":    in.listenAddrs[0],
+		"discovery": in.discovery.Addr,
+		"seed":      fmt.Sprintf("%x", r.plan.Seed<<16|uint64(in.index)),
+		"limits":    map[string]any{"memory_mb": 96, "sockets": 1024},
+		"settings":  r.sidecarSettings(in),
+	})
+}
+
+// sidecarSettings returns the settings of an instance in the platform's terms.
+func (r *run) sidecarSettings(in *instance) map[string]any {
 	s := &r.site.Settings
-	var classes, tenants []any
-	for _, c := range s.Classes {
-		m := map[string]any{"name": c.Name, "target": c.LatencyObjective, "give-up": c.ClientTimeout, "credit": c.PriorityWeight, "late-value": c.LateWeight,
-			"repeat": map[balancer.Idempotency]string{balancer.Idempotent: "pure", balancer.IdempotentByKey: "token", balancer.NonIdempotent: "side_effect"}[c.Idempotency]}
-		if c.Idempotency == balancer.IdempotentByKey {
-			m["window"] = c.DedupWindow
-			m["group"] = map[balancer.DedupScope]string{balancer.DedupAll: "all", balancer.DedupZone: "zone", balancer.DedupCell: "cell"}[c.DedupScope]
-		}
-		classes = append(classes, m)
-	}
-	for _, t := range s.Tenants {
-		tenants = append(tenants, map[string]any{"name": t.Name, "allowance-per-s": t.Quota, "share": t.Share})
-	}
+	classes, tenants := sidecarClasses(s)
 	mode := "automatic"
 	if s.Subscribe {
 		mode = "subscribe"
@@ -47,32 +54,90 @@
 			zone = i
 		}
 	}
-	settings := map[string]any{
-		"peers-total": len(r.plan.Instances), "position": in.index, "zone": zone, "areas": r.site.Zones, "skus": r.site.Kinds, "discovery": mode,
-		"classes": classes, "tenants": tenants, "over-share-worth": s.OverQuotaWeight,
-		"limits": map[string]any{"cancel": s.Limits.Cancel, "probes": s.Limits.Probes, "second-copies": s.Limits.Hedging,
-			"retry-after": s.Limits.RetryAfter, "most-tries": s.Limits.MaxAttempts, "most-held": s.Limits.MaxOpenRequests,
-			"max-retry-after": s.Limits.MaxRetryAfter, "dial-timeout": s.Limits.DialTimeout, "keepalive": r.site.KeepAlive.Microseconds()},
-		"contract": map[string]any{"drain-grace": s.Contract.DrainGrace, "cold-from": s.Contract.WarmupStartCapacity, "ramp-time": s.Contract.WarmupTime,
-			"fall-multiple": s.Contract.CollapseMultiple, "overload-for": s.Contract.CollapseAfter, "ask-within": s.Contract.PollInterval},
-		"prices": map[string]any{"cross-zone": s.Prices.CrossZone, "probe": s.Prices.Probe, "waste": s.Prices.Waste, "late-fail": s.Prices.LateFail},
-		"goal": map[string]any{"whole": s.Goal.Overall, "worst-window": s.Goal.WorstWindow, "worst-class": s.Goal.WorstClass,
-			"worst-tenant": s.Goal.WorstTenant},
+	return map[string]any{
+		"peers-total":      len(r.plan.Instances),
+		"position":         in.index,
+		"zone":             zone,
+		"areas":            r.site.Zones,
+		"skus":             r.site.Kinds,
+		"discovery":        mode,
+		"classes":          classes,
+		"tenants":          tenants,
+		"over-share-worth": s.OverQuotaWeight,
+		"limits": map[string]any{
+			"cancel":          s.Limits.Cancel,
+			"probes":          s.Limits.Probes,
+			"second-copies":   s.Limits.Hedging,
+			"retry-after":     s.Limits.RetryAfter,
+			"most-tries":      s.Limits.MaxAttempts,
+			"most-held":       s.Limits.MaxOpenRequests,
+			"max-retry-after": s.Limits.MaxRetryAfter,
+			"dial-timeout":    s.Limits.DialTimeout,
+			"keepalive":       r.site.KeepAlive.Microseconds(),
+		},
+		"contract": map[string]any{
+			"drain-grace":   s.Contract.DrainGrace,
+			"cold-from":     s.Contract.WarmupStartCapacity,
+			"ramp-time":     s.Contract.WarmupTime,
+			"fall-multiple": s.Contract.CollapseMultiple,
+			"overload-for":  s.Contract.CollapseAfter,
+			"ask-within":    s.Contract.PollInterval,
+		},
+		"prices": map[string]any{
+			"cross-zone": s.Prices.CrossZone,
+			"probe":      s.Prices.Probe,
+			"waste":      s.Prices.Waste,
+			"late-fail":  s.Prices.LateFail,
+		},
+		"goal": map[string]any{
+			"whole":        s.Goal.Overall,
+			"worst-window": s.Goal.WorstWindow,
+			"worst-class":  s.Goal.WorstClass,
+			"worst-tenant": s.Goal.WorstTenant,
+		},
 		"reporting": map[string]any{"how": "probe", "fields": r.reportFields()},
 	}
-	known := discovery.List{Generation: 1, Reset: true, Instances: r.discoveryEntries(in.index)} // as the platform has it
-	return json.Marshal(map[string]any{"known": known, "name": fmt.Sprint("instance-", in.index), "listen": in.listenAddrs[0], "discovery": in.discovery.Addr,
-		"seed": fmt.Sprintf("%x", r.plan.Seed<<16|uint64(in.index)), "limits": map[string]any{"memory_mb": 96, "sockets": 1024}, "settings": settings})
 }
 
-// fieldNames are the figures of a load report as the instances know them.
+// sidecarClasses returns the classes and tenants of the settings in the platform's terms.
+func sidecarClasses(s *balancer.Settings) (classes, tenants []any) {
+	for _, c := range s.Classes {
+		m := map[string]any{
+			"name":       c.Name,
+			"target":     c.LatencyObjective,
+			"give-up":    c.ClientTimeout,
+			"credit":     c.PriorityWeight,
+			"late-value": c.LateWeight,
+			"repeat": map[balancer.Idempotency]string{
+				balancer.Idempotent:      "pure",
+				balancer.IdempotentByKey: "token",
+				balancer.NonIdempotent:   "side_effect",
+			}[c.Idempotency],
+		}
+		if c.Idempotency == balancer.IdempotentByKey {
+			m["window"] = c.DedupWindow
+			m["group"] = map[balancer.DedupScope]string{
+				balancer.DedupAll:  "all",
+				balancer.DedupZone: "zone",
+				balancer.DedupCell: "cell",
+			}[c.DedupScope]
+		}
+		classes = append(classes, m)
+	}
+	for _, t := range s.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "allowance-per-s": t.Quota, "share": t.Share})
+	}
+	return classes, tenants
+}
+
+// reportFields are the names of the fields of a load report, in the order of the settings.
 func (r *run) reportFields() []string {
 	if !isSidecar(r.options.Daemon) {
 		return r.site.LoadReportFields
 	}
 	var names []string
 	for _, f := range r.site.Settings.LoadMetrics {
-		names = append(names, wireFields[f])
+		names = append(names, platformLoadFields[f])
 	}
 	return names
 }
