--- a/cmd/dunlinlab/faults.go
+++ b/cmd/dunlinlab/faults.go
@@ -39,7 +39,9 @@
 		if err != nil {
 			return err
 		}
-		c.Programs = []string{filepath.Join(filepath.Dir(self), "dunlinsaild"), filepath.Join(filepath.Dir(self), "dunlinsail")}
+		c.Programs = []string{
+			filepath.Join(filepath.Dir(self), "dunlinsaild"), filepath.Join(filepath.Dir(self), "dunlinsail"),
+		}
 	}
 	failed := 0
 	for _, name := range c.Scenarios {
@@ -64,7 +66,9 @@
 	return nil
 }
 
-func (c *faultsCmd) play(ctx context.Context, w *output, s *scenario.Scenario, program string, seed uint64) (failed int, err error) {
+func (c *faultsCmd) play(
+	ctx context.Context, w *output, s *scenario.Scenario, program string, seed uint64,
+) (failed int, err error) {
 	specs := []string{strings.Join(append([]string{c.Settings}, s.Settings...), ",")}
 	if c.Without && len(s.Settings) > 0 {
 		specs = append(specs, c.Settings)
--- a/cmd/dunlinlab/hunts.go
+++ b/cmd/dunlinlab/hunts.go
@@ -123,7 +123,10 @@
 	}
 	h := experiment.SearchOptions{Scenario: s, Budget: c.Budget, Seed: c.Seed, OnFinding: func(f experiment.Finding) {
 		if !c.Quiet {
-			fmt.Fprintf(os.Stderr, "\r\x1b[Kafter %d runs: loses %.3f, service %.3f, %.0f rules broken\n", f.Runs, f.Loss, f.Service, f.Violations)
+			fmt.Fprintf(
+				os.Stderr, "\r\x1b[Kafter %d runs: loses %.3f, service %.3f, %.0f rules broken\n", f.Runs, f.Loss,
+				f.Service, f.Violations,
+			)
 		}
 	}}
 	if h.Variant, err = experiment.ParseVariant(c.Settings); err != nil {
@@ -148,7 +151,11 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "# %s\n# service %.4f, loses %.4f, %.0f rules broken; play it with: dunlinlab run FILE --seeds 1 --first %d\n", f.Scenario.Name, f.Service, f.Loss, f.Violations, f.Seed)
+	fmt.Fprintf(
+		w,
+		"# %s\n# service %.4f, loses %.4f, %.0f rules broken; play it with: dunlinlab run FILE --seeds 1 --first %d\n",
+		f.Scenario.Name, f.Service, f.Loss, f.Violations, f.Seed,
+	)
 	if c.Out != "" {
 		return os.WriteFile(c.Out, text, 0o644)
 	}
@@ -186,7 +193,13 @@
 		return err
 	}
 	fmt.Fprintf(w, "%s, %d comparisons of %d seeds each\n", s.Name, p.Comparisons, c.SeedFlags.Seeds)
-	fmt.Fprintf(w, "the same build with other lots: cannot tell in %.1f%% (%.1f..%.1f%%)\n", 100*p.Inconclusive.Mean, 100*p.Inconclusive.Low, 100*p.Inconclusive.High)
-	fmt.Fprintf(w, "a harm of %g: found in %.1f%% (%.1f..%.1f%%)\n", p.Harm, 100*p.Found.Mean, 100*p.Found.Low, 100*p.Found.High)
+	fmt.Fprintf(
+		w, "the same build with other lots: cannot tell in %.1f%% (%.1f..%.1f%%)\n", 100*p.Inconclusive.Mean,
+		100*p.Inconclusive.Low, 100*p.Inconclusive.High,
+	)
+	fmt.Fprintf(
+		w, "a harm of %g: found in %.1f%% (%.1f..%.1f%%)\n", p.Harm, 100*p.Found.Mean, 100*p.Found.Low,
+		100*p.Found.High,
+	)
 	return nil
 }
--- a/cmd/dunlinlab/main.go
+++ b/cmd/dunlinlab/main.go
@@ -1,5 +1,6 @@
-// Command dunlinlab makes experiments with a model of the fleet: what would a change of settings, or another build, do to
-// the service? It plays scenarios in simulated time with the decisions themselves, compares, sweeps, searches and reports.
+// Command dunlinlab makes experiments with a model of the fleet: what would a change of settings, or another build, do
+// to the service? It plays scenarios in simulated time with the decisions themselves, compares, sweeps, searches and
+// reports.
 package main
 
 import (
@@ -17,8 +18,8 @@
 	"dunlinsail/internal/stricttoml"
 )
 
-// The exit codes: 1 is a claim that fails or a run that could not be made, 2 a mistake of whoever called or in a file, 3
-// that it was ended before it was done.
+// The exit codes: 1 is a claim that fails or a run that could not be made, 2 a mistake of whoever called or in a file,
+// 3 that it was ended before it was done.
 const (
 	exitOK = iota
 	exitFailed
@@ -63,7 +64,10 @@
 	// Runs make much that is short-lived, and memory is there.
 	debug.SetGCPercent(400)
 	var c commands
-	parser, err := kong.New(&c, kong.Name("dunlinlab"), kong.Description("Experiments with a model of the fleet. See docs/operators/lab.md."),
+	parser, err := kong.New(
+		&c,
+		kong.Name("dunlinlab"),
+		kong.Description("Experiments with a model of the fleet. See docs/operators/lab.md."),
 		kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
 		panic(err) // of the program's own words
@@ -86,7 +90,10 @@
 	case errors.Is(err, errFailed):
 		return exitFailed
 	case ctx.Err() != nil:
-		fmt.Fprintln(os.Stderr, "dunlinlab: ended before it was done; what was run is kept, and the same command goes on from it")
+		fmt.Fprintln(
+			os.Stderr,
+			"dunlinlab: ended before it was done; what was run is kept, and the same command goes on from it",
+		)
 		return exitStopped
 	case errors.As(err, &mistakes):
 		fmt.Fprintln(os.Stderr, "dunlinlab:", err)
--- a/cmd/dunlinlab/real.go
+++ b/cmd/dunlinlab/real.go
@@ -68,7 +68,10 @@
 			}
 			continue
 		}
-		fmt.Fprintf(w, "%s: %d of %d figures of %d real runs lie where the model says\n", s.Name, a.AgreeingRows, len(a.Rows), a.Seeds)
+		fmt.Fprintf(
+			w, "%s: %d of %d figures of %d real runs lie where the model says\n", s.Name, a.AgreeingRows, len(a.Rows),
+			a.Seeds,
+		)
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "\tmodel\treal\t")
 		for _, row := range a.Rows {
@@ -80,7 +83,10 @@
 			if row.Unit == "ms" {
 				digits = 1
 			}
-			fmt.Fprintf(t, "%s\t%s\t%.*f\t%s\n", row.Name, experiment.Number(row.Figure, row.Model), digits, row.Processes, mark)
+			fmt.Fprintf(
+				t, "%s\t%s\t%.*f\t%s\n", row.Name, experiment.Number(row.Figure, row.Model), digits, row.Processes,
+				mark,
+			)
 		}
 		if err := t.Flush(); err != nil {
 			return err
--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -64,7 +64,10 @@
 	}
 	operations := rec.Stories()
 	from, to := rec.Span()
-	fmt.Fprintf(w, "%d requests, %d stories, %.0f s from %s\n", len(rec.Requests), len(operations), float64(to-from)/1e6, time.UnixMicro(from).UTC().Format(time.RFC3339))
+	fmt.Fprintf(
+		w, "%d requests, %d stories, %.0f s from %s\n", len(rec.Requests), len(operations), float64(to-from)/1e6,
+		time.UnixMicro(from).UTC().Format(time.RFC3339),
+	)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "class\tstories\ttries each\tserved\tp50\tp99\tverdicts of tries")
 	byClass := map[string][]*accesslog.Story{}
@@ -97,7 +100,10 @@
 			parts = append(parts, fmt.Sprintf("%s %d", v, verdicts[v]))
 		}
 		n := len(byClass[class])
-		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.2f%%\t%s\t%s\t%s\n", class, n, float64(tries)/float64(n), 100*float64(served)/float64(n), quantile(0.5), quantile(0.99), strings.Join(parts, ", "))
+		fmt.Fprintf(
+			t, "%s\t%d\t%.3f\t%.2f%%\t%s\t%s\t%s\n", class, n, float64(tries)/float64(n),
+			100*float64(served)/float64(n), quantile(0.5), quantile(0.99), strings.Join(parts, ", "),
+		)
 	}
 	return t.Flush()
 }
--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -124,7 +124,10 @@
 				return
 			}
 			last = time.Now()
-			fmt.Fprintf(os.Stderr, "\r%d of %d runs, %d of them kept from before, %v \x1b[K", done+kept, all, kept, time.Since(began).Round(time.Second))
+			fmt.Fprintf(
+				os.Stderr, "\r%d of %d runs, %d of them kept from before, %v \x1b[K", done+kept, all, kept,
+				time.Since(began).Round(time.Second),
+			)
 			if done+kept == all {
 				fmt.Fprint(os.Stderr, "\r\x1b[K")
 			}
@@ -212,7 +215,9 @@
 }
 
 // trace prints what happens to one story.
-func traceOperation(ctx context.Context, w io.Writer, s *scenario.Scenario, v *experiment.Variant, seed uint64, which string) error {
+func traceOperation(
+	ctx context.Context, w io.Writer, s *scenario.Scenario, v *experiment.Variant, seed uint64, which string,
+) error {
 	j, err := v.Job(s, v, seed)
 	if err != nil {
 		return err
@@ -291,7 +296,17 @@
 		if err != nil {
 			return err
 		}
-		got, err := r.Compare(ctx, experiment.Plan{Scenario: s, A: a, B: b, FirstSeed: c.First, MinSeeds: c.SeedFlags.Seeds, MaxSeeds: c.MaxSeeds, TargetWidth: c.Width, Method: c.Method, PrimaryFigure: c.Figure})
+		got, err := r.Compare(ctx, experiment.Plan{
+			Scenario:      s,
+			A:             a,
+			B:             b,
+			FirstSeed:     c.First,
+			MinSeeds:      c.SeedFlags.Seeds,
+			MaxSeeds:      c.MaxSeeds,
+			TargetWidth:   c.Width,
+			Method:        c.Method,
+			PrimaryFigure: c.Figure,
+		})
 		if err != nil {
 			return err
 		}
@@ -325,7 +340,10 @@
 			if row.Note != "" {
 				verdict = strings.TrimSpace(verdict + " " + row.Note)
 			}
-			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", row.Name, experiment.Number(row.Figure, row.A), experiment.Number(row.Figure, row.B), experiment.Signed(row.Figure, row.Difference), verdict)
+			fmt.Fprintf(
+				t, "%s\t%s\t%s\t%s\t%s\n", row.Name, experiment.Number(row.Figure, row.A),
+				experiment.Number(row.Figure, row.B), experiment.Signed(row.Figure, row.Difference), verdict,
+			)
 		}
 		if err := t.Flush(); err != nil {
 			return err
@@ -367,11 +385,18 @@
 		}
 		own := v
 		if len(s.Settings) > 0 {
-			if own, err = experiment.ParseVariant(strings.Join(append([]string{c.Settings}, s.Settings...), ",")); err != nil {
+			if own, err = experiment.ParseVariant(strings.Join(
+				append([]string{c.Settings}, s.Settings...), ",",
+			)); err != nil {
 				return fmt.Errorf("scenario %s: %w", name, err)
 			}
 		}
-		got, err := r.Compare(ctx, experiment.Plan{Scenario: s, A: own, FirstSeed: c.First, MinSeeds: c.SeedFlags.Seeds})
+		got, err := r.Compare(ctx, experiment.Plan{
+			Scenario:  s,
+			A:         own,
+			FirstSeed: c.First,
+			MinSeeds:  c.SeedFlags.Seeds,
+		})
 		if err != nil {
 			return err
 		}
@@ -380,7 +405,10 @@
 			return fmt.Errorf("scenario %s: %w", name, err)
 		}
 		for _, j := range judged {
-			fmt.Fprintf(w, "%-20s %-28s %-12s %.4g, margin %.3g ± %.2g\n", s.Name, j.Claim, j.Verdict, j.Left, j.Margin.Mean, j.Margin.HalfWidth())
+			fmt.Fprintf(
+				w, "%-20s %-28s %-12s %.4g, margin %.3g ± %.2g\n", s.Name, j.Claim, j.Verdict, j.Left, j.Margin.Mean,
+				j.Margin.HalfWidth(),
+			)
 			failed = failed || j.Verdict == claim.Fails
 		}
 		_ = w.Flush() // its error comes again with the last Flush, in main
--- a/cmd/dunlinlab/sizes.go
+++ b/cmd/dunlinlab/sizes.go
@@ -37,10 +37,20 @@
 	if len(c.Instances) == 0 || len(c.Nodes) == 0 || c.Operations < 1 || c.Subset < 1 {
 		return errors.New("sizes, --subset and --stories must be positive")
 	}
-	sc := experiment.Scaling{Scenario: s, Variant: v, Subset: c.Subset, Operations: c.Operations, Seed: c.Seed, Program: v.Program}
+	sc := experiment.Scaling{
+		Scenario:   s,
+		Variant:    v,
+		Subset:     c.Subset,
+		Operations: c.Operations,
+		Seed:       c.Seed,
+		Program:    v.Program,
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if !c.JSON {
-		fmt.Fprintln(t, "instances\tendpoints\teach told of\tsimulated\tstories\tdecisions\tprocessor time\tdecisions/s\tstories/s\tmemory\t")
+		fmt.Fprintln(
+			t,
+			"instances\tendpoints\teach told of\tsimulated\tstories\tdecisions\tprocessor time\tdecisions/s\tstories/s\tmemory\t",
+		)
 	}
 	for _, instances := range c.Instances {
 		for _, nodes := range c.Nodes {
@@ -56,8 +66,20 @@
 				continue
 			}
 			took := r.ProcessorTime.Seconds()
-			fmt.Fprintf(t, "%d\t%d\t%d\t%v\t%d\t%d\t%v\t%.0f\t%.0f\t%d MB\t\n", r.Instances, r.Endpoints, r.Subset, r.Length, r.Operations, r.Decisions,
-				r.ProcessorTime.Round(10*time.Millisecond), float64(r.Decisions)/took, float64(r.Operations)/took, r.Memory>>20)
+			fmt.Fprintf(
+				t,
+				"%d\t%d\t%d\t%v\t%d\t%d\t%v\t%.0f\t%.0f\t%d MB\t\n",
+				r.Instances,
+				r.Endpoints,
+				r.Subset,
+				r.Length,
+				r.Operations,
+				r.Decisions,
+				r.ProcessorTime.Round(10*time.Millisecond),
+				float64(r.Decisions)/took,
+				float64(r.Operations)/took,
+				r.Memory>>20,
+			)
 		}
 	}
 	if err := t.Flush(); err != nil {
@@ -79,7 +101,10 @@
 			first = r.Result.Digest
 		}
 		same = same && r.Result.Digest == first
-		fmt.Fprintf(w, "%d instances on %d endpoints with %s processors: digest %s\n", z.Instances, z.Endpoints, n, r.Result.Digest)
+		fmt.Fprintf(
+			w, "%d instances on %d endpoints with %s processors: digest %s\n", z.Instances, z.Endpoints, n,
+			r.Result.Digest,
+		)
 	}
 	if !same {
 		fmt.Fprintln(w, "these differ: a run depends on something that it should not")
--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -47,11 +47,17 @@
 	}
 	for _, name := range names {
 		if _, known := cases[name]; !known && name != "random" {
-			return fmt.Errorf("there is no case %q; there are random, %s", name, strings.Join(slices.Sorted(maps.Keys(cases)), ", "))
+			return fmt.Errorf(
+				"there is no case %q; there are random, %s", name, strings.Join(slices.Sorted(maps.Keys(cases)), ", "),
+			)
 		}
 	}
 	table := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "CASE\tWORST SECOND, OF %.0f\tBEYOND\tUSED\tWORDS A SECOND AND INSTANCE\tBYTES\tTHE BOOK'S WORDS\tBYTES\n", c.Units)
+	fmt.Fprintf(
+		table,
+		"CASE\tWORST SECOND, OF %.0f\tBEYOND\tUSED\tWORDS A SECOND AND INSTANCE\tBYTES\tTHE BOOK'S WORDS\tBYTES\n",
+		c.Units,
+	)
 	beyond := 0
 	for _, name := range names {
 		t, err := c.simulate(ctx, name, cases[name])
@@ -61,7 +67,11 @@
 		beyond += t.exceeded
 		slices.Sort(t.utilization)
 		n := float64(c.Seeds)
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.2f to %.2f\t%.1f\t%.0f\t%.0f\t%.0f\n", name, t.maxSpent, t.exceeded, t.utilization[0], t.utilization[len(t.utilization)-1], t.messageRate/n, t.byteRate/n, t.allocatorMessageRate/n, t.allocatorByteRate/n)
+		fmt.Fprintf(
+			table, "%s\t%d\t%d\t%.2f to %.2f\t%.1f\t%.0f\t%.0f\t%.0f\n", name, t.maxSpent, t.exceeded, t.utilization[0],
+			t.utilization[len(t.utilization)-1], t.messageRate/n, t.byteRate/n, t.allocatorMessageRate/n,
+			t.allocatorByteRate/n,
+		)
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -92,12 +102,22 @@
 	for range runtime.GOMAXPROCS(0) {
 		all.Go(func() {
 			for seed := range seeds {
-				s := gossipsim.Settings{Members: c.Members, Candidates: 3, Units: c.Units, Demand: c.Demand * c.Units, Duration: c.For.Microseconds(), Seed: seed,
+				s := gossipsim.Settings{
+					Members:      c.Members,
+					Candidates:   3,
+					Units:        c.Units,
+					Demand:       c.Demand * c.Units,
+					Duration:     c.For.Microseconds(),
+					Seed:         seed,
 					Coordination: gossipsim.DefaultSettings(), MessageSize: size, Faults: faults, PlantedError: c.Plant}
 				if c.Every > 0 {
 					s.Coordination.Quota.RequestInterval = c.Every.Microseconds()
-					s.Coordination.Quota.LeaseDuration = max(s.Coordination.Quota.LeaseDuration, 8*s.Coordination.Quota.RequestInterval)
-					s.Coordination.LeaseDuration = max(s.Coordination.LeaseDuration, 4*s.Coordination.Quota.RequestInterval)
+					s.Coordination.Quota.LeaseDuration = max(
+						s.Coordination.Quota.LeaseDuration, 8*s.Coordination.Quota.RequestInterval,
+					)
+					s.Coordination.LeaseDuration = max(
+						s.Coordination.LeaseDuration, 4*s.Coordination.Quota.RequestInterval,
+					)
 				}
 				if c.Plant == "spends as it starts" {
 					s.Coordination.Quota.Reserve = 1 // nothing lies idle where one is killed
--- a/internal/experiment/agree.go
+++ b/internal/experiment/agree.go
@@ -34,11 +34,24 @@
 }
 
 // agreed are the figures by which model and real runs are held against one another.
-var agreementFigures = []string{"service", "whole", "worst_window", "worst_class", "worst_tenant", "p50", "p90", "p99", "unserved", "tries", "attempts", "refused", "cross_zone",
+var agreementFigures = []string{
+	"service",
+	"whole",
+	"worst_window",
+	"worst_class",
+	"worst_tenant",
+	"p50",
+	"p90",
+	"p99",
+	"unserved",
+	"tries",
+	"attempts",
+	"refused",
+	"cross_zone",
 	"probes", "waste"}
 
-// Tolerance is the part of the model's error bars that no number of runs makes smaller: what it leaves out of a machine. It
-// was set by scenarios other than those that are compared (docs/design/model.md).
+// Tolerance is the part of the model's error bars that no number of runs makes smaller: what it leaves out of a
+// machine. It was set by scenarios other than those that are compared (docs/design/model.md).
 func Tolerance(f measure.Figure, value float64) float64 {
 	switch f.Unit {
 	case "ms":
@@ -51,7 +64,9 @@
 
 // CompareWithProcesses plays a scenario for real, and in the model several times for each seed with other lots, and tells whether the
 // mean of the real runs lies where the model says.
-func (r *Runner) CompareWithProcesses(ctx context.Context, s *scenario.Scenario, v *Variant, daemon string, seeds, decisionSeeds int, log io.Writer) (*Agreement, error) {
+func (r *Runner) CompareWithProcesses(
+	ctx context.Context, s *scenario.Scenario, v *Variant, daemon string, seeds, decisionSeeds int, log io.Writer,
+) (*Agreement, error) {
 	a := &Agreement{Scenario: s, Seeds: seeds, DecisionSeeds: decisionSeeds}
 	var tasks []Task
 	for seed := range seeds {
@@ -74,7 +89,13 @@
 		return nil, err
 	}
 	for seed := range seeds {
-		got, err := processes.Run(ctx, processes.Options{Plan: s.Draw(uint64(1 + seed)), Settings: v.Settings, Criteria: criteria(judged), Daemon: daemon, Log: log})
+		got, err := processes.Run(ctx, processes.Options{
+			Plan:     s.Draw(uint64(1 + seed)),
+			Settings: v.Settings,
+			Criteria: criteria(judged),
+			Daemon:   daemon,
+			Log:      log,
+		})
 		if err != nil {
 			return nil, fmt.Errorf("seed %d, for real: %w", 1+seed, err)
 		}
@@ -106,7 +127,11 @@
 	}
 	half := 0.0
 	if a.DecisionSeeds > 1 {
-		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(a.Seeds * (a.DecisionSeeds - 1))}.Quantile((1 + Confidence) / 2)
+		t := distuv.StudentsT{
+			Mu:    0,
+			Sigma: 1,
+			Nu:    float64(a.Seeds * (a.DecisionSeeds - 1)),
+		}.Quantile((1 + Confidence) / 2)
 		half = t * math.Sqrt(variance*(1+1/float64(a.DecisionSeeds))) / float64(a.Seeds)
 	}
 	half += Tolerance(f, mean)
--- a/internal/experiment/claim/claim.go
+++ b/internal/experiment/claim/claim.go
@@ -1,5 +1,5 @@
-// Package claim reads what is claimed of runs, as "service >= 0.95", "p99.book < 1.2 * p99 + 20ms" or "breaks == 0", and
-// judges it by the figures of several runs. It knows names of figures, and nothing of what they mean.
+// Package claim reads what is claimed of runs, as "service >= 0.95", "p99.book < 1.2 * p99 + 20ms" or "breaks == 0",
+// and judges it by the figures of several runs. It knows names of figures, and nothing of what they mean.
 package claim
 
 import (
@@ -93,7 +93,9 @@
 		}
 	}
 	ofSum = func(s *sum) {
-		for _, p := range append([]*product{s.First}, mapSlice(s.Rest, func(t *term) *product { return t.Operand })...) {
+		for _, p := range append(
+			[]*product{s.First}, mapSlice(s.Rest, func(t *term) *product { return t.Operand })...,
+		) {
 			ofValue(p.First)
 			for _, f := range p.Rest {
 				ofValue(f.Operand)
@@ -189,8 +191,8 @@
 	Margin  stats.Interval // by how much it holds; less than nothing is that it does not
 }
 
-// Evaluate judges a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each run, what
-// compares sizes on average: the margin's interval tells whether that is sure.
+// Judge judges a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each run,
+// what compares sizes on average: the margin's interval tells whether that is sure.
 func (c *Claim) Evaluate(runs []map[string]float64, confidence float64) Evaluation {
 	j := Evaluation{Claim: c.Text}
 	var margins []float64
--- a/internal/experiment/claim/claim_test.go
+++ b/internal/experiment/claim/claim_test.go
@@ -32,7 +32,10 @@
 			t.Errorf("%s: %v (%v against %v)", text, got.Verdict, got.Left, got.Right)
 		}
 	}
-	for _, bad := range []string{"", "service", "service >= ", "service => 1", "nothing > 1", "service > 1 > 0", "1 = 1", "service > 1min", "(a > 1"} {
+	for _, bad := range []string{
+		"", "service", "service >= ", "service => 1", "nothing > 1", "service > 1 > 0", "1 = 1", "service > 1min",
+		"(a > 1",
+	} {
 		if _, err := Parse(bad, func(name string) bool { _, ok := figures[name]; return ok }); err == nil {
 			t.Errorf("%q was taken", bad)
 		}
@@ -56,7 +59,10 @@
 		text string
 		v    []float64
 		want Verdict
-	}{{"x >= 1", []float64{1.2, 1.3, 1.25}, Holds}, {"x >= 1", []float64{0.7, 0.8, 0.75}, Fails}, {"x >= 1", []float64{0.9, 1.2, 1.1}, Inconclusive},
+	}{
+		{"x >= 1", []float64{1.2, 1.3, 1.25}, Holds},
+		{"x >= 1", []float64{0.7, 0.8, 0.75}, Fails},
+		{"x >= 1", []float64{0.9, 1.2, 1.1}, Inconclusive},
 		{"x >= 1", []float64{1.2}, Inconclusive}, {"x >= 1", []float64{0.2}, Fails}, {"x == 0", []float64{0, 0, 0}, Holds}, {"x == 0", []float64{0, 1, 0}, Fails}} {
 		if got := judge(x.text, x.v...); got != x.want {
 			t.Errorf("%s of %v: %v, want %v", x.text, x.v, got, x.want)
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -196,7 +196,8 @@
 	}
 	row.Relevant = math.Abs(d.Mean) > f.Threshold
 	switch {
-	case row.Verdict != Inconclusive && f.Direction == 0: // what it costs; whether that is well spent, other figures say
+	// what it costs; whether that is well spent, other figures say
+	case row.Verdict != Inconclusive && f.Direction == 0:
 		row.Verdict, row.Note = Inconclusive, "less"
 		if d.Mean > 0 {
 			row.Note = "more"
@@ -220,7 +221,10 @@
 		return happened, operations
 	}
 	most := func(happened, operations int64) string {
-		return fmt.Sprintf("%d of %d stories: at most one in %.0f", happened, operations, 1/stats.RateInterval(min(happened, operations), operations, Confidence).High)
+		return fmt.Sprintf(
+			"%d of %d stories: at most one in %.0f", happened, operations,
+			1/stats.RateInterval(min(happened, operations), operations, Confidence).High,
+		)
 	}
 	a, storiesA := count(c.RunsA)
 	if c.RunsB == nil {
@@ -242,14 +246,25 @@
 func (c *Comparison) Line() string {
 	row := c.Rows[0]
 	if c.RunsB == nil {
-		return fmt.Sprintf("%s: %s %s over %d runs", c.Plan.Scenario.Name, row.Name, Number(row.Figure, row.A), len(c.Seeds))
+		return fmt.Sprintf(
+			"%s: %s %s over %d runs", c.Plan.Scenario.Name, row.Name, Number(row.Figure, row.A), len(c.Seeds),
+		)
 	}
 	if c.Identical {
-		return fmt.Sprintf("%s: cannot tell: every one of %d runs came to the very same with A and with B", c.Plan.Scenario.Name, len(c.Seeds))
+		return fmt.Sprintf(
+			"%s: cannot tell: every one of %d runs came to the very same with A and with B", c.Plan.Scenario.Name,
+			len(c.Seeds),
+		)
 	}
-	text := fmt.Sprintf("%s: B is %v: %s %s, %s of A", c.Plan.Scenario.Name, row.Verdict, row.Name, Signed(row.Figure, row.Difference), Number(row.Figure, row.A))
+	text := fmt.Sprintf(
+		"%s: B is %v: %s %s, %s of A", c.Plan.Scenario.Name, row.Verdict, row.Name, Signed(row.Figure, row.Difference),
+		Number(row.Figure, row.A),
+	)
 	if row.Verdict == Inconclusive {
-		text = fmt.Sprintf("%s: cannot tell: %s differs by %s, %s of A", c.Plan.Scenario.Name, row.Name, Signed(row.Figure, row.Difference), Number(row.Figure, row.A))
+		text = fmt.Sprintf(
+			"%s: cannot tell: %s differs by %s, %s of A", c.Plan.Scenario.Name, row.Name,
+			Signed(row.Figure, row.Difference), Number(row.Figure, row.A),
+		)
 	}
 	if row.Note != "" {
 		text += " (" + row.Note + ")"
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -25,18 +25,27 @@
 	EvidenceDir string // the folder with the evidence of a failed run; "" is none
 }
 
-// RunWithFaults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by that one
-// run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder of its own
-// below keep: the plan's scenario, the settings, what the processes logged, and all that it came to. Every other instance is a
-// process of beside, where that is given.
-func RunWithFaults(ctx context.Context, s *scenario.Scenario, v *Variant, program, beside string, seed uint64, keep string) (*FaultRun, error) {
+// Faults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by
+// that one run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder
+// of its own below keep: the plan's scenario, the settings, what the processes logged, and all that it came to. Every
+// other instance is a process of beside, where that is given.
+func RunWithFaults(
+	ctx context.Context, s *scenario.Scenario, v *Variant, program, beside string, seed uint64, keep string,
+) (*FaultRun, error) {
 	own, err := config.Parse(v.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	var log logBuffer
 	plan := s.Draw(seed)
-	result, err := processes.Run(ctx, processes.Options{Plan: plan, Settings: v.Settings, Criteria: criteria(own), Daemon: program, AlternateDaemon: beside, Log: &log})
+	result, err := processes.Run(ctx, processes.Options{
+		Plan:            plan,
+		Settings:        v.Settings,
+		Criteria:        criteria(own),
+		Daemon:          program,
+		AlternateDaemon: beside,
+		Log:             &log,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("%s, seed %d: %w; logged last:\n%s", s.Name, seed, err, log.last(errorLogLines))
 	}
@@ -73,7 +82,12 @@
 	if err != nil {
 		return err
 	}
-	for name, text := range map[string][]byte{"scenario.toml": text, "settings.toml": v.Settings, "result.json": all, "log": log.text.Bytes()} {
+	for name, text := range map[string][]byte{
+		"scenario.toml": text,
+		"settings.toml": v.Settings,
+		"result.json":   all,
+		"log":           log.text.Bytes(),
+	} {
 		if err := os.WriteFile(filepath.Join(f.EvidenceDir, name), text, 0o644); err != nil {
 			return err
 		}
@@ -81,7 +95,8 @@
 	return nil
 }
 
-// lines keeps what processes log, up to a bound: each write of a process is one of its own, from a goroutine of its own.
+// lines keeps what processes log, up to a bound: each write of a process is one of its own, from a goroutine of its
+// own.
 type logBuffer struct {
 	mu   sync.Mutex
 	text bytes.Buffer
@@ -113,11 +128,15 @@
 // Summary is a line of the figures that matter where much goes wrong.
 func (f *FaultRun) Summary() string {
 	var parts []string
-	for _, name := range []string{"whole", "of_could", "out_of_order", "further_peak", "probes_first", "probes_peak", "back", "breaks", "over_budget", "beyond_limit", "budget_use", "work_sent", "work_left", "work_took"} {
+	for _, name := range []string{
+		"whole", "of_could", "out_of_order", "further_peak", "probes_first", "probes_peak", "back", "breaks",
+		"over_budget", "beyond_limit", "budget_use", "work_sent", "work_left", "work_took",
+	} {
 		parts = append(parts, fmt.Sprintf("%s %.3g", name, f.Result.Figures[name]))
 	}
 	if c := &f.Result.Costs; f.Result.Figures["breaks"] > 0 {
-		parts = append(parts, fmt.Sprintf("(%d endpoints fell, %d sent to a drained one, %d took effect twice, %d not answered in time)",
+		parts = append(parts, fmt.Sprintf(
+			"(%d endpoints fell, %d sent to a drained one, %d took effect twice, %d not answered in time)",
 			c.Collapses, c.AttemptsAfterDrain, c.DuplicateEffects, c.LateResponses))
 	}
 	return strings.Join(parts, "  ")
--- a/internal/experiment/faults_test.go
+++ b/internal/experiment/faults_test.go
@@ -30,14 +30,16 @@
 	os.Exit(0)
 }
 
-// A run of real processes of which a claim does not hold fails, and leaves in a folder what is needed to look for the cause;
-// one that holds leaves nothing.
+// A run of real processes of which a claim does not hold fails, and leaves in a folder what is needed to look for the
+// cause; one that holds leaves nothing.
 func TestFaultsKeepEvidence(t *testing.T) {
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := must[*scenario.Scenario](t)(Resize(must[*scenario.Scenario](t)(library.Load("calm")), []string{"length=3s"}, 3, 6))
+	s := must[*scenario.Scenario](t)(Resize(
+		must[*scenario.Scenario](t)(library.Load("calm")), []string{"length=3s"}, 3, 6,
+	))
 	s.Events = []scenario.Event{}
 	v := must[*Variant](t)(ParseVariant(Shipped))
 	keep := t.TempDir()
@@ -61,7 +63,9 @@
 			}
 		}
 	}
-	if _, err := RunWithFaults(t.Context(), s, v, "/bin/false", "", 1, keep); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+	if _, err := RunWithFaults(
+		t.Context(), s, v, "/bin/false", "", 1, keep,
+	); err == nil || !strings.Contains(err.Error(), "ended by itself") {
 		t.Errorf("a program that ends at once: %v", err)
 	}
 }
--- a/internal/experiment/golden_test.go
+++ b/internal/experiment/golden_test.go
@@ -15,8 +15,8 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// The files in testdata/golden are what a build wrote before names in this package and in package measure changed. They are
-// never written anew: a store outlives a build, and builds play one another's jobs.
+// The files in testdata/golden are what a build wrote before names in this package and in package measure changed. They
+// are never written anew: a store outlives a build, and builds play one another's jobs.
 
 // goldenBuild stands for a program's digest, goldenKey is what goldenJob is known by in store.db.
 const (
@@ -25,7 +25,14 @@
 )
 
 func goldenJob() *Job {
-	return &Job{Scenario: "name = \"golden\"\n", Settings: "[listen]\n", CriteriaSettings: "[judge]\n", Seed: 11, DecisionSeed: 12, Harm: 0.125}
+	return &Job{
+		Scenario:         "name = \"golden\"\n",
+		Settings:         "[listen]\n",
+		CriteriaSettings: "[judge]\n",
+		Seed:             11,
+		DecisionSeed:     12,
+		Harm:             0.125,
+	}
 }
 
 // goldenResult is the result in store.db. All of its fields have values of their own.
@@ -36,22 +43,57 @@
 		Digest:   "0123456789abcdef",
 		Figures:  map[string]float64{"service": 0.875, "p99.look": 12.5, "breaks": 0},
 		Costs: measure.Costs{
-			ClientRequests: 101, Attempts: 102, CrossZone: 103, Dials: 104, Probes: 105, OfferedWork: 106.5, ExecutedWork: 107.5, UsefulWork: 108.5,
-			Decisions: 109, Collapses: 110, AttemptsAfterDrain: 111, DuplicateEffects: 112, LateResponses: 113, ClientDuplicateEffects: 114, KilledInFlight: 115, FleetMessages: 116,
+			ClientRequests:         101,
+			Attempts:               102,
+			CrossZone:              103,
+			Dials:                  104,
+			Probes:                 105,
+			OfferedWork:            106.5,
+			ExecutedWork:           107.5,
+			UsefulWork:             108.5,
+			Decisions:              109,
+			Collapses:              110,
+			AttemptsAfterDrain:     111,
+			DuplicateEffects:       112,
+			LateResponses:          113,
+			ClientDuplicateEffects: 114,
+			KilledInFlight:         115,
+			FleetMessages:          116,
 		},
 		Operations: 201,
 		Served:     202,
 		Series: measure.Series{
-			Bin: 301, Service: []float64{302.5, 0}, Offered: []float64{303.5}, OnTime: []float64{304.5}, Late: []float64{305.5},
+			Bin:      301,
+			Service:  []float64{302.5, 0},
+			Offered:  []float64{303.5},
+			OnTime:   []float64{304.5},
+			Late:     []float64{305.5},
 			Unserved: []float64{306.5}, Rejected: []float64{307.5}, Failed: []float64{308.5}, P50: []float64{309.5},
 			P99: []float64{310.5}, Class: [][]float64{{311.5}, {312.5}}, Zone: [][]float64{{313.5}},
 		},
 		Endpoints: []measure.EndpointLoad{
-			{Name: "node-1", Zone: 401, Executions: 402, Utilization: 403.5, MaxInFlight: 404, Arrivals: []int64{405, 406}},
+			{
+				Name:        "node-1",
+				Zone:        401,
+				Executions:  402,
+				Utilization: 403.5,
+				MaxInFlight: 404,
+				Arrivals:    []int64{405, 406},
+			},
 			{Name: "node-2"},
 		},
 		Classes: []measure.ClassLatency{{Name: "look", Count: 501, Quantiles: [][2]float64{{50, 502.5}, {99, 503.5}}}},
-		Seconds: []measure.Second{{FirstAttempts: 601, ExtraAttempts: 602, Probes: 603, Dials: 604, MaxEndpointProbes: 605, MaxEndpointDials: 606}, {}},
+		Seconds: []measure.Second{
+			{
+				FirstAttempts:     601,
+				ExtraAttempts:     602,
+				Probes:            603,
+				Dials:             604,
+				MaxEndpointProbes: 605,
+				MaxEndpointDials:  606,
+			},
+			{},
+		},
 	}
 }
 
@@ -59,7 +101,14 @@
 	return Summary{
 		Scenario: "golden", A: "shipped", B: "shipped,pick=2", Line: "golden: better", Seeds: []uint64{1, 2},
 		Rows: []Row{{
-			Figure:     measure.Figure{Name: "service", Description: "what it is", Unit: "ms", Direction: 1, Threshold: 0.25, CountsViolations: true},
+			Figure: measure.Figure{
+				Name:             "service",
+				Description:      "what it is",
+				Unit:             "ms",
+				Direction:        1,
+				Threshold:        0.25,
+				CountsViolations: true,
+			},
 			A:          stats.Interval{Mean: 1.5, Low: 2.5, High: 3.5, N: 4},
 			B:          stats.Interval{Mean: 5.5, Low: 6.5, High: 7.5, N: 8},
 			Difference: stats.Interval{Mean: 9.5, Low: 10.5, High: 11.5, N: 12},
@@ -79,14 +128,33 @@
 		}
 		return text
 	}
-	agreement := []AgreementRow{{Figure: goldenSummary().Rows[0].Figure, Model: goldenSummary().Rows[0].A, Processes: 13.5, Agrees: true}}
+	agreement := []AgreementRow{{
+		Figure:    goldenSummary().Rows[0].Figure,
+		Model:     goldenSummary().Rows[0].A,
+		Processes: 13.5,
+		Agrees:    true,
+	}}
 	sizeRun := SizeRun{
-		Size: Size{Instances: 1, Endpoints: 2}, Subset: 3, Length: 4 * time.Second, Rate: 5.5, Operations: 6, Decisions: 7,
+		Size:          Size{Instances: 1, Endpoints: 2},
+		Subset:        3,
+		Length:        4 * time.Second,
+		Rate:          5.5,
+		Operations:    6,
+		Decisions:     7,
 		ProcessorTime: 8 * time.Second, Memory: 9, Result: goldenResult(),
 	}
 	happenings := []scenario.PlannedEvent{{
-		What: "slow", At: 1, Until: 2, Endpoints: []int{3}, Sizes: []float64{4.5}, Class: 5, Tenant: 6, OneClient: true, Zone: 7, To: 8,
-		Every: 9, Delay: 10, Instances: []int{11}, Others: []int{12}, Way: "from",
+		What:      "slow",
+		At:        1,
+		Until:     2,
+		Endpoints: []int{3},
+		Sizes:     []float64{4.5},
+		Class:     5,
+		Tenant:    6,
+		OneClient: true,
+		Zone:      7,
+		To:        8,
+		Every:     9, Delay: 10, Instances: []int{11}, Others: []int{12}, Way: "from",
 	}}
 	f := &FaultRun{Result: goldenResult(), EvidenceDir: t.TempDir()}
 	plan := &scenario.Plan{PlannedEvents: happenings}
--- a/internal/experiment/lab_test.go
+++ b/internal/experiment/lab_test.go
@@ -61,7 +61,9 @@
 
 func short(t *testing.T, edits ...string) *scenario.Scenario {
 	t.Helper()
-	return must[*scenario.Scenario](t)(Resize(must[*scenario.Scenario](t)(library.Load("calm")), append(edits, "length=5s"), 2, 5))
+	return must[*scenario.Scenario](t)(Resize(
+		must[*scenario.Scenario](t)(library.Load("calm")), append(edits, "length=5s"), 2, 5,
+	))
 }
 
 func variant(t *testing.T, spec string) *Variant {
@@ -71,7 +73,8 @@
 
 // Edits change what they name, by names of tables in lists too, and say what they cannot find.
 func TestEdits(t *testing.T) {
-	text := must[[]byte](t)(applyEdits([]byte("a = 1\n[b]\nc = \"x\"\n[[d]]\nname = \"one\"\nv = 1\n[[d]]\nkind = \"two\"\nv = 1\n"),
+	text := must[[]byte](t)(applyEdits(
+		[]byte("a = 1\n[b]\nc = \"x\"\n[[d]]\nname = \"one\"\nv = 1\n[[d]]\nkind = \"two\"\nv = 1\n"),
 		[]string{"a=2", "b.c=10ms", "d.one.v=5", "d.two.v=[1, 2]", "e.f=true"}))
 	for _, want := range []string{"a = 2", "c = '10ms'", "v = 5", "v = [1, 2]", "f = true"} {
 		if !strings.Contains(string(text), want) {
@@ -84,10 +87,15 @@
 		}
 	}
 	v := variant(t, "shipped,attempts.most=2,class.book.aim=350ms,world.clients.retries=[0, 0],lots=3,harm=0.1")
-	if v.DecisionSeed != 3 || v.Harm != 0.1 || !slices.Equal(v.ScenarioEdits, []string{"clients.retries=[0, 0]"}) || !strings.Contains(string(v.Settings), "most = 2") {
+	if v.DecisionSeed != 3 || v.Harm != 0.1 || !slices.Equal(
+		v.ScenarioEdits, []string{"clients.retries=[0, 0]"},
+	) || !strings.Contains(string(v.Settings), "most = 2") {
 		t.Errorf("%+v", v)
 	}
-	for _, bad := range []string{"nowhere.toml", "shipped,attempts.most=0", "shipped,attemps.most=2", "shipped,harm=2", "@/nowhere:shipped", "@x"} {
+	for _, bad := range []string{
+		"nowhere.toml", "shipped,attempts.most=0", "shipped,attemps.most=2", "shipped,harm=2", "@/nowhere:shipped",
+		"@x",
+	} {
 		if _, err := ParseVariant(bad); err == nil {
 			t.Errorf("%q was taken", bad)
 		}
@@ -106,7 +114,9 @@
 			t.Errorf("%s: name %q, about %q, expects %q", name, s.Name, s.About, s.Expect)
 		}
 		for _, text := range s.Expect {
-			if _, err := claim.Parse(text, func(name string) bool { _, ok := measure.Describe(name); return ok }); err != nil {
+			if _, err := claim.Parse(
+				text, func(name string) bool { _, ok := measure.Describe(name); return ok },
+			); err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
 		}
@@ -120,7 +130,13 @@
 // run again, and another build's are others.
 func TestSameHoweverRun(t *testing.T) {
 	ctx := context.Background()
-	plan := Plan{Scenario: short(t), A: variant(t, "shipped"), B: variant(t, "shipped,lots=1"), FirstSeed: 1, MinSeeds: 6}
+	plan := Plan{
+		Scenario:  short(t),
+		A:         variant(t, "shipped"),
+		B:         variant(t, "shipped,lots=1"),
+		FirstSeed: 1,
+		MinSeeds:  6,
+	}
 	digests := func(r *Runner) (all []string) {
 		c := must[*Comparison](t)(r.Compare(ctx, plan))
 		for i := range c.RunsA {
@@ -131,7 +147,11 @@
 	path := filepath.Join(t.TempDir(), "lab.db")
 	store := must[*Store](t)(OpenStore(path))
 	var last [3]int
-	one := digests(&Runner{Parallel: 1, Store: store, Progress: func(done, kept, all int) { last = [3]int{done, kept, all} }})
+	one := digests(&Runner{
+		Parallel: 1,
+		Store:    store,
+		Progress: func(done, kept, all int) { last = [3]int{done, kept, all} },
+	})
 	if last != [3]int{12, 0, 12} {
 		t.Errorf("done, kept and all: %v", last)
 	}
@@ -208,17 +228,25 @@
 		}
 	}
 	var exit *exec.Error
-	if _, _, err := j.playWith(context.Background(), filepath.Join(t.TempDir(), "gone")); err == nil || errors.As(err, &exit) && exit == nil {
+	if _, _, err := j.playWith(
+		context.Background(), filepath.Join(t.TempDir(), "gone"),
+	); err == nil || errors.As(err, &exit) && exit == nil {
 		t.Errorf("a program that is not there: %v", err)
 	}
 }
 
-// A known harm is found, the same build with other lots is not told from itself, one with the same lots comes to the very
-// same, and a variant that changes how clients try again is compared like any other.
+// A known harm is found, the same build with other lots is not told from itself, one with the same lots comes to the
+// very same, and a variant that changes how clients try again is compared like any other.
 func TestCompare(t *testing.T) {
 	ctx := context.Background()
 	against := func(a, b string, edits ...string) *Comparison {
-		return must[*Comparison](t)((&Runner{}).Compare(ctx, Plan{Scenario: short(t, edits...), A: variant(t, a), B: variant(t, b), FirstSeed: 1, MinSeeds: 8}))
+		return must[*Comparison](t)((&Runner{}).Compare(ctx, Plan{
+			Scenario:  short(t, edits...),
+			A:         variant(t, a),
+			B:         variant(t, b),
+			FirstSeed: 1,
+			MinSeeds:  8,
+		}))
 	}
 	compare := func(b string) *Comparison { return against("shipped", b) }
 	if c := compare("shipped,harm=0.05"); c.Rows[0].Verdict != Worse || !strings.Contains(c.Line(), "B is worse: service -0.0") {
@@ -227,7 +255,9 @@
 	if c := compare("shipped,lots=7"); c.Rows[0].Verdict != Inconclusive || c.Identical {
 		t.Errorf("other lots: %s", c.Line())
 	}
-	if c := compare("shipped"); !c.Identical || !strings.Contains(c.Line(), "cannot tell: every one of 8 runs came to the very same") {
+	if c := compare("shipped"); !c.Identical || !strings.Contains(
+		c.Line(), "cannot tell: every one of 8 runs came to the very same",
+	) {
 		t.Errorf("the same: %s", c.Line())
 	}
 	c := against(Shipped, "shipped,world.clients.retries=[0, 0]", "clients.retries=[2, 2]", "clients.load=1.5")
@@ -242,14 +272,20 @@
 // keeps clients that ask for little from those that ask for far too much.
 func TestLearnedBoundInFlight(t *testing.T) {
 	mean := func(s *scenario.Scenario, spec, figure string) float64 {
-		c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, spec), FirstSeed: 1, MinSeeds: 2}))
+		c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{
+			Scenario:  s,
+			A:         variant(t, spec),
+			FirstSeed: 1,
+			MinSeeds:  2,
+		}))
 		return stats.StudentT(Figure(c.RunsA, figure), Confidence).Mean
 	}
 	load := func(name string, edits ...string) *scenario.Scenario {
 		return must[*scenario.Scenario](t)(Resize(must[*scenario.Scenario](t)(library.Load(name)), edits, 0, 0))
 	}
 	const unbounded = "shipped,requests.in_flight=1000"
-	busy := load("calm", "clients.load=0.7", "fleet.instances=1", "length=25s") // the first second costs a fifth of itself
+	// the first second costs a fifth of itself
+	busy := load("calm", "clients.load=0.7", "fleet.instances=1", "length=25s")
 	if a, b := mean(busy, unbounded, "whole"), mean(busy, Shipped, "whole"); b < a-0.02 {
 		t.Errorf("endpoints at seven tenths: %.3f of the worth served, %.3f without a bound", b, a)
 	}
@@ -265,7 +301,15 @@
 
 // It goes on until it is known well enough, and no further than it may.
 func TestStopsAtWidth(t *testing.T) {
-	plan := Plan{Scenario: short(t, "clients.load=0.9"), A: variant(t, "shipped"), B: variant(t, "shipped,lots=7"), FirstSeed: 1, MinSeeds: 3, MaxSeeds: 40, TargetWidth: 0.05}
+	plan := Plan{
+		Scenario:    short(t, "clients.load=0.9"),
+		A:           variant(t, "shipped"),
+		B:           variant(t, "shipped,lots=7"),
+		FirstSeed:   1,
+		MinSeeds:    3,
+		MaxSeeds:    40,
+		TargetWidth: 0.05,
+	}
 	c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), plan))
 	if n := len(c.Seeds); n < 3 || n < 40 && 2*c.Rows[0].Difference.HalfWidth() > plan.TargetWidth {
 		t.Errorf("%d seeds, half width %v", n, c.Rows[0].Difference.HalfWidth())
@@ -320,9 +364,18 @@
 
 // A sweep compares each place with the first.
 func TestSweep(t *testing.T) {
-	axes := []Axis{must[Axis](t)(ParseAxis("world.clients.load=0.2|0.9")), must[Axis](t)(ParseAxis("attempts.most=1|3"))}
-	s := must[*Sweep](t)((&Runner{}).Sweep(context.Background(), Plan{Scenario: short(t), A: variant(t, Shipped), FirstSeed: 1, MinSeeds: 3}, axes))
-	if len(s.Points) != 4 || !slices.Equal(s.Points[1].Values, []string{"0.2", "3"}) || !slices.Equal(s.Points[2].Values, []string{"0.9", "1"}) {
+	axes := []Axis{
+		must[Axis](t)(ParseAxis("world.clients.load=0.2|0.9")), must[Axis](t)(ParseAxis("attempts.most=1|3")),
+	}
+	s := must[*Sweep](t)((&Runner{}).Sweep(context.Background(), Plan{
+		Scenario:  short(t),
+		A:         variant(t, Shipped),
+		FirstSeed: 1,
+		MinSeeds:  3,
+	}, axes))
+	if len(s.Points) != 4 || !slices.Equal(
+		s.Points[1].Values, []string{"0.2", "3"},
+	) || !slices.Equal(s.Points[2].Values, []string{"0.9", "1"}) {
 		t.Fatalf("%d points", len(s.Points))
 	}
 	if v, d := s.Points[0].Figure("service"); d != nil || v.N != 3 {
@@ -336,7 +389,11 @@
 			t.Errorf("%q was taken", bad)
 		}
 	}
-	if _, err := (&Runner{}).Sweep(context.Background(), Plan{Scenario: short(t), A: variant(t, Shipped), MinSeeds: 1}, nil); err == nil {
+	if _, err := (&Runner{}).Sweep(context.Background(), Plan{
+		Scenario: short(t),
+		A:        variant(t, Shipped),
+		MinSeeds: 1,
+	}, nil); err == nil {
 		t.Error("a sweep without an axis was made")
 	}
 }
@@ -345,7 +402,8 @@
 // small scenario that still shows it. The same search finds the same.
 func TestSearchShrinksItsFinding(t *testing.T) {
 	hunt := func() *Finding {
-		return must[*Finding](t)((&Runner{}).Search(context.Background(), SearchOptions{Scenario: short(t, "clients.retries=[0, 0]", "length=8s"), Variant: variant(t, "shipped,attempts.most=1"),
+		return must[*Finding](t)((&Runner{}).Search(context.Background(), SearchOptions{
+			Scenario: short(t, "clients.retries=[0, 0]", "length=8s"), Variant: variant(t, "shipped,attempts.most=1"),
 			Against: variant(t, Shipped), Budget: 40, Seed: 2}))
 	}
 	f := hunt()
@@ -357,7 +415,13 @@
 	if len(s.Events) == 0 || len(s.Events) > 3 {
 		t.Errorf("%d events are left:\n%s", len(s.Events), text)
 	}
-	c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, "shipped,attempts.most=1"), B: variant(t, Shipped), FirstSeed: f.Seed, MinSeeds: 1}))
+	c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{
+		Scenario:  s,
+		A:         variant(t, "shipped,attempts.most=1"),
+		B:         variant(t, Shipped),
+		FirstSeed: f.Seed,
+		MinSeeds:  1,
+	}))
 	if got := c.RunsB[0].Figures["service"] - c.RunsA[0].Figures["service"]; got < f.Loss*0.9 {
 		t.Errorf("what was written loses %v, not %v", got, f.Loss)
 	}
@@ -366,7 +430,8 @@
 	}
 }
 
-// Comparisons of which it is known what they ought to say mostly say it. The command `dunlinlab prove` makes more of them.
+// Comparisons of which it is known what they ought to say mostly say it. The command `dunlinlab prove` makes more of
+// them.
 func TestProve(t *testing.T) {
 	p := must[*Proof](t)((&Runner{}).Prove(context.Background(), short(t), variant(t, Shipped), 6, 4, 0.05))
 	if p.Inconclusive.Mean < 0.7 || p.Found.Mean < 0.8 {
@@ -374,8 +439,8 @@
 	}
 }
 
-// A figure of real runs agrees where the mean lies in the model's error bars, which come of how unlike the model's runs of
-// one seed are, and of a tolerance; what differs from seed to seed widens nothing.
+// A figure of real runs agrees where the mean lies in the model's error bars, which come of how unlike the model's runs
+// of one seed are, and of a tolerance; what differs from seed to seed widens nothing.
 func TestAgreement(t *testing.T) {
 	a := &Agreement{Seeds: 2, DecisionSeeds: 4}
 	for _, v := range []float64{0.90, 0.92, 0.90, 0.92, 0.50, 0.52, 0.50, 0.52} {
--- a/internal/experiment/library/library.go
+++ b/internal/experiment/library/library.go
@@ -1,5 +1,5 @@
-// Package library holds the scenarios that come with the program. Each says in a line what it is about, and what must hold
-// of the shipped settings in it.
+// Package library holds the scenarios that come with the program. Each says in a line what it is about, and what must
+// hold of the shipped settings in it.
 package library
 
 import (
@@ -39,8 +39,8 @@
 	return text, nil
 }
 
-// Load reads a scenario by its name in the library, or from a file: what has a dot or a slash in it is one. A file may be
-// based on one in its own folder, or in the library.
+// Load reads a scenario by its name in the library, or from a file: what has a dot or a slash in it is one. A file may
+// be based on one in its own folder, or in the library.
 func Load(name string) (*scenario.Scenario, error) {
 	if !strings.ContainsAny(name, "./") {
 		text, err := Text(name)
--- a/internal/experiment/prove.go
+++ b/internal/experiment/prove.go
@@ -15,9 +15,11 @@
 	Harm         float64
 }
 
-// Prove makes many comparisons of which it is known what they ought to say: a variant with itself, and with itself and a
-// harm. Each has seeds of its own.
-func (r *Runner) Prove(ctx context.Context, s *scenario.Scenario, v *Variant, comparisons, seeds int, harm float64) (*Proof, error) {
+// Prove makes many comparisons of which it is known what they ought to say: a variant with itself, and with itself and
+// a harm. Each has seeds of its own.
+func (r *Runner) Prove(
+	ctx context.Context, s *scenario.Scenario, v *Variant, comparisons, seeds int, harm float64,
+) (*Proof, error) {
 	p := &Proof{Comparisons: comparisons, Harm: harm}
 	var same, found int64
 	for i := range comparisons {
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -163,7 +163,14 @@
 			}
 			id := uint64(instance)<<32 | uint64(n)<<4 | uint64(k&15)
 			w := works.For(id)
-			x := simclient.Operation{ID: id, Instance: instance, Process: processes[who], Class: class, Tenant: tenant, Object: q.Object, StartedAt: began,
+			x := simclient.Operation{
+				ID:             id,
+				Instance:       instance,
+				Process:        processes[who],
+				Class:          class,
+				Tenant:         tenant,
+				Object:         q.Object,
+				StartedAt:      began,
 				IdempotencyKey: w.Uint64() | 1, Work: p.Classes[class].Draw(w)}
 			out[instance] = append(out[instance], x)
 		}
@@ -179,8 +186,9 @@
 // fitBins is how many places the shape of a fitted scenario has at most.
 const maxShapePoints = 60
 
-// FitScenario returns a scenario with what a record tells of clients: their rate and its shape, classes, tenants, instances, how
-// they try again, and how long requests take while little is going on. All else is the base's. notes says what it rests on.
+// Fit returns a scenario with what a record tells of clients: their rate and its shape, classes, tenants, instances,
+// how they try again, and how long requests take while little is going on. All else is the base's. notes says what it
+// rests on.
 func FitScenario(base *scenario.Scenario, rec *accesslog.Recording) (s *scenario.Scenario, notes []string, err error) {
 	operations := rec.Stories()
 	if len(operations) < 100 {
@@ -219,7 +227,10 @@
 	s.Tenants = nil
 	for _, name := range names {
 		if name != "" {
-			s.Tenants = append(s.Tenants, scenario.Tenant{Name: name, Share: round(float64(n[name]) / float64(len(operations)))})
+			s.Tenants = append(s.Tenants, scenario.Tenant{
+				Name:  name,
+				Share: round(float64(n[name]) / float64(len(operations))),
+			})
 		}
 	}
 
@@ -251,12 +262,20 @@
 			way := 2 * float64(s.Network.Within.Micros()+s.Host.Overhead.Micros()/2)
 			work := max(100, (mean-way)*speed)
 			c.Work.Duration, c.CV, c.Noise = microsToDuration(int64(work)).Round(1e5), round(spread/mean), 0
-			notes = append(notes, fmt.Sprintf("class %s: work %v by %d requests served at their first attempt in the quietest third, at a mean speed of %.2f", name, c.Work.Duration, len(took), speed))
+			notes = append(
+				notes,
+				fmt.Sprintf(
+					"class %s: work %v by %d requests served at their first attempt in the quietest third, at a mean speed of %.2f",
+					name, c.Work.Duration, len(took), speed,
+				),
+			)
 		} else {
 			notes = append(notes, fmt.Sprintf("class %s: work is the base's: %d requests to go by", name, len(took)))
 		}
 		if c.Work.Duration <= 0 {
-			return nil, nil, fmt.Errorf("class %q: %d requests are too few to tell its work, and the base has no such class", name, len(took))
+			return nil, nil, fmt.Errorf(
+				"class %q: %d requests are too few to tell its work, and the base has no such class", name, len(took),
+			)
 		}
 		s.Classes = append(s.Classes, c)
 	}
@@ -284,9 +303,17 @@
 		lo, hi := waits[len(waits)/10], waits[len(waits)*9/10]
 		s.Clients.Backoff.From, s.Clients.Backoff.To = microsToDuration(int64(lo)).Round(1e6), microsToDuration(int64(hi)).Round(1e6)
 		s.Clients.Retries = [2]int{min(1, most), most}
-		notes = append(notes, fmt.Sprintf("clients: %d of %d stories that were not served at once were tried again, up to %d times", again, unserved, most))
+		notes = append(
+			notes,
+			fmt.Sprintf(
+				"clients: %d of %d stories that were not served at once were tried again, up to %d times", again,
+				unserved, most,
+			),
+		)
 	} else {
-		notes = append(notes, fmt.Sprintf("clients: how they try again is the base's: %d such stories to go by", len(waits)))
+		notes = append(
+			notes, fmt.Sprintf("clients: how they try again is the base's: %d such stories to go by", len(waits)),
+		)
 	}
 	for _, x := range operations {
 		s.Clients.MarkRetries = s.Clients.MarkRetries || len(x.Tries) > 1 && x.Tries[1].Retry
@@ -358,8 +385,14 @@
 	h := accesslog.HasherOf([]byte("of no patient's: a model's"))
 	writer := func(n int) (*accesslog.Writer, error) {
 		for len(writers) <= n {
-			w, err := accesslog.NewWriter(accesslog.Options{Dir: dir, Instance: fmt.Sprint("instance-", len(writers)), Sample: 1, Rows: 1 << 20, Age: 24 * time.Hour, Log: slog.New(slog.DiscardHandler),
-				Now: func() time.Time { return time.UnixMicro(now.Load()) }})
+			w, err := accesslog.NewWriter(accesslog.Options{
+				Dir:      dir,
+				Instance: fmt.Sprint("instance-", len(writers)),
+				Sample:   1,
+				Rows:     1 << 20,
+				Age:      24 * time.Hour,
+				Log:      slog.New(slog.DiscardHandler),
+				Now:      func() time.Time { return time.UnixMicro(now.Load()) }})
 			if err != nil {
 				return nil, err
 			}
@@ -370,7 +403,12 @@
 	if _, err := writer(0); err != nil { // what is wrong with the folder is told now
 		return nil, nil, err
 	}
-	verdicts := map[engine.Verdict]string{engine.Served: accesslog.Served, engine.Rejected: accesslog.Refused, engine.RateLimited: accesslog.Refused, engine.TimedOut: accesslog.Late}
+	verdicts := map[engine.Verdict]string{
+		engine.Served:      accesslog.Served,
+		engine.Rejected:    accesslog.Refused,
+		engine.RateLimited: accesslog.Refused,
+		engine.TimedOut:    accesslog.Late,
+	}
 	return func(o *simulation.Options) {
 		o.Record = func(x *simulation.RequestRecord) {
 			now.Store(max(now.Load(), x.Arrived+x.Duration))
@@ -378,8 +416,19 @@
 			if err != nil {
 				return
 			}
-			r := accesslog.Row{Arrived: x.Arrived, Took: x.Duration, Waited: x.Response.QueueTime, Patience: x.Timeout, Client: fmt.Sprint("process-", x.Process), Class: s.Classes[x.Class],
-				Verdict: accesslog.Failed, Endpoint: x.Response.Endpoint, Attempts: int32(x.Response.Attempts), Object: h.Hash("object", fmt.Sprint(x.Object)), Retry: x.Retry}
+			r := accesslog.Row{
+				Arrived:  x.Arrived,
+				Took:     x.Duration,
+				Waited:   x.Response.QueueTime,
+				Patience: x.Timeout,
+				Client:   fmt.Sprint("process-", x.Process),
+				Class:    s.Classes[x.Class],
+				Verdict:  accesslog.Failed,
+				Endpoint: x.Response.Endpoint,
+				Attempts: int32(x.Response.Attempts),
+				Object:   h.Hash("object", fmt.Sprint(x.Object)),
+				Retry:    x.Retry,
+			}
 			if x.IdempotencyKey != 0 {
 				r.Key = h.Hash("key", fmt.Sprint(x.IdempotencyKey))
 			}
--- a/internal/experiment/replay_test.go
+++ b/internal/experiment/replay_test.go
@@ -34,8 +34,8 @@
 	return dir, r
 }
 
-// Of a record that is full of retries only the first tries are played again: a variant under which less goes wrong sees as
-// many stories as there were, and not the retries that another caused.
+// Of a record that is full of retries only the first tries are played again: a variant under which less goes wrong sees
+// as many stories as there were, and not the retries that another caused.
 func TestReplayKeepsFirstTries(t *testing.T) {
 	dir, was := recorded(t, storm(t))
 	rec := must[*accesslog.Recording](t)(accesslog.Read(dir))
@@ -43,7 +43,9 @@
 		t.Errorf("what it lacks: %q", all)
 	}
 	if was.Figures["tries"] < 1.2 || int64(len(rec.Requests)) != was.Costs.ClientRequests {
-		t.Fatalf("%d tries of %d stories, %d in the record", was.Costs.ClientRequests, was.Operations, len(rec.Requests))
+		t.Fatalf(
+			"%d tries of %d stories, %d in the record", was.Costs.ClientRequests, was.Operations, len(rec.Requests),
+		)
 	}
 	if got := len(rec.Stories()); math.Abs(float64(got)-float64(was.Operations)) > 0.01*float64(was.Operations) {
 		t.Errorf("%d stories are found in the record, %d there were", got, was.Operations)
@@ -51,16 +53,27 @@
 	play := func(nodes int) *measure.Result {
 		s := must[*scenario.Scenario](t)(Resize(storm(t), nil, 0, nodes))
 		s.Replay = &scenario.Replay{From: []string{dir}}
-		c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, Shipped), FirstSeed: 5, MinSeeds: 1}))
+		c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{
+			Scenario:  s,
+			A:         variant(t, Shipped),
+			FirstSeed: 5,
+			MinSeeds:  1,
+		}))
 		return c.RunsA[0]
 	}
 	same := play(0)
 	if math.Abs(float64(same.Operations-was.Operations)) > 0.01*float64(was.Operations) || math.Abs(same.Figures["service"]-was.Figures["service"]) > 0.06 {
-		t.Errorf("played again: %d stories, service %.3f; it was %d, %.3f", same.Operations, same.Figures["service"], was.Operations, was.Figures["service"])
+		t.Errorf(
+			"played again: %d stories, service %.3f; it was %d, %.3f", same.Operations, same.Figures["service"],
+			was.Operations, was.Figures["service"],
+		)
 	}
 	better := play(20)
 	if better.Operations != same.Operations || better.Figures["tries"] > 0.7*same.Figures["tries"] {
-		t.Errorf("with more endpoints: %d stories, %.3f tries each; %d with fewer", better.Operations, better.Figures["tries"], same.Operations)
+		t.Errorf(
+			"with more endpoints: %d stories, %.3f tries each; %d with fewer", better.Operations,
+			better.Figures["tries"], same.Operations,
+		)
 	}
 	again := play(0)
 	if again.Digest != same.Digest {
@@ -73,26 +86,49 @@
 	dir, was := recorded(t, storm(t))
 	rec := must[*accesslog.Recording](t)(accesslog.Read(dir))
 	part := t.TempDir()
-	w := must[*accesslog.Writer](t)(accesslog.NewWriter(accesslog.Options{Dir: part, Instance: "instance-0", Sample: 0.25, Rows: 1 << 20, Age: 1 << 50}))
+	w := must[*accesslog.Writer](t)(accesslog.NewWriter(accesslog.Options{
+		Dir:      part,
+		Instance: "instance-0",
+		Sample:   0.25,
+		Rows:     1 << 20,
+		Age:      1 << 50,
+	}))
 	for _, q := range rec.Requests {
 		w.Add(q.Row)
 	}
 	w.Close()
 	s := storm(t)
 	s.Replay = &scenario.Replay{From: []string{part}}
-	c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, Shipped), FirstSeed: 1, MinSeeds: 1}))
+	c := must[*Comparison](t)((&Runner{}).Compare(context.Background(), Plan{
+		Scenario:  s,
+		A:         variant(t, Shipped),
+		FirstSeed: 1,
+		MinSeeds:  1,
+	}))
 	if got := c.RunsA[0].Operations; math.Abs(float64(got-was.Operations)) > 0.15*float64(was.Operations) {
 		t.Errorf("a quarter scaled up: %d stories of %d", got, was.Operations)
 	}
-	for from, want := range map[string]string{filepath.Join(dir, "none"): "no such file", t.TempDir(): "there is no request"} {
+	for from, want := range map[string]string{
+		filepath.Join(dir, "none"): "no such file", t.TempDir(): "there is no request",
+	} {
 		s.Replay = &scenario.Replay{From: []string{from}}
-		if _, err := (&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, Shipped), FirstSeed: 1, MinSeeds: 1}); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := (&Runner{}).Compare(context.Background(), Plan{
+			Scenario:  s,
+			A:         variant(t, Shipped),
+			FirstSeed: 1,
+			MinSeeds:  1,
+		}); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", from, err)
 		}
 	}
 	s = storm(t, "class.book.name=sell")
 	s.Replay = &scenario.Replay{From: []string{dir}}
-	if _, err := (&Runner{}).Compare(context.Background(), Plan{Scenario: s, A: variant(t, "shipped,class.book.name=sell"), FirstSeed: 1, MinSeeds: 1}); err == nil || !strings.Contains(err.Error(), `class "book"`) {
+	if _, err := (&Runner{}).Compare(context.Background(), Plan{
+		Scenario:  s,
+		A:         variant(t, "shipped,class.book.name=sell"),
+		FirstSeed: 1,
+		MinSeeds:  1,
+	}); err == nil || !strings.Contains(err.Error(), `class "book"`) {
 		t.Errorf("a class that the scenario does not have: %v", err)
 	}
 	if err := os.Remove(must[[]string](t)(filepath.Glob(filepath.Join(dir, "*.parquet")))[0]); err != nil {
@@ -105,17 +141,24 @@
 
 // What is fitted to a record is close to what made it.
 func TestFit(t *testing.T) {
-	s := must[*scenario.Scenario](t)(Resize(storm(t), []string{"clients.load=0.5", "length=30s", "clients.backoff=20ms..60ms", "clients.honour_retry_after=0.0"}, 0, 0))
+	s := must[*scenario.Scenario](t)(Resize(storm(t), []string{
+		"clients.load=0.5", "length=30s", "clients.backoff=20ms..60ms", "clients.honour_retry_after=0.0",
+	}, 0, 0))
 	s.Shape = []scenario.RatePoint{{Factor: 0.3}, {Factor: 0.3}, {Factor: 3}}
 	s.Shape[1].At.Duration, s.Shape[2].At.Duration = 15e9, 30e9
 	dir, was := recorded(t, s)
-	base := must[*scenario.Scenario](t)(Resize(storm(t), []string{"class.book.work=10ms", "class.open-slots.share=0.1", "clients.retries=[0, 0]", "fleet.instances=1"}, 0, 0))
+	base := must[*scenario.Scenario](t)(Resize(storm(t), []string{
+		"class.book.work=10ms", "class.open-slots.share=0.1", "clients.retries=[0, 0]", "fleet.instances=1",
+	}, 0, 0))
 	f, notes, err := FitScenario(base, must[*accesslog.Recording](t)(accesslog.Read(dir)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if got := f.Clients.Rate * f.Length.Duration.Seconds(); math.Abs(got-float64(was.Operations)) > 0.1*float64(was.Operations) || f.Fleet.Instances != 2 || len(f.Shape) < 20 {
-		t.Errorf("%.0f stories of %d, %d instances, %d places of the shape", got, was.Operations, f.Fleet.Instances, len(f.Shape))
+		t.Errorf(
+			"%.0f stories of %d, %d instances, %d places of the shape", got, was.Operations, f.Fleet.Instances,
+			len(f.Shape),
+		)
 	}
 	if early, late := f.Draw(1).RateFactor(5_000_000), f.Draw(1).RateFactor(28_000_000); late < 3*early {
 		t.Errorf("the shape: %v early, %v late", early, late)
--- a/internal/experiment/report/charts.go
+++ b/internal/experiment/report/charts.go
@@ -45,7 +45,10 @@
 	p.Legend.Top = true
 	p.Legend.Left = false
 	// A browser without the plot's own font shows a wider one: small text keeps within the picture.
-	for _, f := range []*font.Font{&p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font, &p.X.Tick.Label.Font, &p.Y.Tick.Label.Font, &p.Legend.TextStyle.Font} {
+	for _, f := range []*font.Font{
+		&p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font, &p.X.Tick.Label.Font, &p.Y.Tick.Label.Font,
+		&p.Legend.TextStyle.Font,
+	} {
 		f.Size, f.Variant = vg.Points(9), "Sans"
 	}
 	p.Add(plotter.NewGrid())
@@ -84,7 +87,9 @@
 }
 
 // overTime draws a line of the runs' mean, with the band in which nine of ten runs lie.
-func overTime(c *experiment.Comparison, y string, of func(s *measure.Series) []float64, maxValue float64) (template.HTML, error) {
+func overTime(
+	c *experiment.Comparison, y string, of func(s *measure.Series) []float64, maxValue float64,
+) (template.HTML, error) {
 	p := newPlot("seconds", y)
 	for _, s := range variants(c) {
 		var mean plotter.XYs
@@ -149,7 +154,9 @@
 		names = append(names, r.Name)
 		at := plotter.XY{X: r.Difference.Mean * times, Y: float64(len(names) - 1)}
 		all.XYs = append(all.XYs, at)
-		all.XErrors = append(all.XErrors, struct{ Low, High float64 }{(r.Difference.Low - r.Difference.Mean) * times, (r.Difference.High - r.Difference.Mean) * times})
+		all.XErrors = append(all.XErrors, struct{ Low, High float64 }{
+			(r.Difference.Low - r.Difference.Mean) * times, (r.Difference.High - r.Difference.Mean) * times,
+		})
 	}
 	if len(names) == 0 {
 		return "", nil
@@ -211,7 +218,10 @@
 	return svg(p, 7*vg.Centimeter)
 }
 
-var dashes = [][]vg.Length{nil, {vg.Points(6), vg.Points(2)}, {vg.Points(2), vg.Points(2)}, {vg.Points(8), vg.Points(2), vg.Points(2), vg.Points(2)}}
+var dashes = [][]vg.Length{
+	nil, {vg.Points(6), vg.Points(2)}, {vg.Points(2), vg.Points(2)},
+	{vg.Points(8), vg.Points(2), vg.Points(2), vg.Points(2)},
+}
 
 // loads draws how much each endpoint had to do.
 func endpointLoads(c *experiment.Comparison) (template.HTML, error) {
@@ -285,7 +295,11 @@
 			}
 		}
 		picture, err := differenceChart(shares, 100, "B less A, percentage points, with 95% intervals")
-		if err := add("Differences of shares", "Right of the line B has more. For what is refused, failed, lost, unserved, wasted or late, less is better.", picture, err); err != nil {
+		if err := add(
+			"Differences of shares",
+			"Right of the line B has more. For what is refused, failed, lost, unserved, wasted or late, less is better.",
+			picture, err,
+		); err != nil {
 			return nil, err
 		}
 		picture, err = differenceChart(times, 1, "B less A, milliseconds, with 95% intervals")
@@ -294,11 +308,18 @@
 		}
 	}
 	picture, err := overTime(c, "service", func(s *measure.Series) []float64 { return s.Service }, 1)
-	if err := add("Service over time", "Worth served within the aim, of the worth asked for in each moment: the mean of all seeds, and the band in which nine of ten lie.", picture, err); err != nil {
+	if err := add(
+		"Service over time",
+		"Worth served within the aim, of the worth asked for in each moment: the mean of all seeds, and the band in which nine of ten lie.",
+		picture, err,
+	); err != nil {
 		return nil, err
 	}
 	picture, err = overTime(c, "a second", func(s *measure.Series) []float64 { return s.Offered }, 0)
-	if err := add("Stories begun a second", "What clients wanted. It is the same for both: they meet the same clients.", picture, err); err != nil {
+	if err := add(
+		"Stories begun a second", "What clients wanted. It is the same for both: they meet the same clients.", picture,
+		err,
+	); err != nil {
 		return nil, err
 	}
 	picture, err = overTime(c, "a second", func(s *measure.Series) []float64 {
@@ -308,19 +329,29 @@
 		}
 		return v
 	}, 0)
-	if err := add("Tries refused, failed or lost a second", "By the moment in which their stories began.", picture, err); err != nil {
+	if err := add(
+		"Tries refused, failed or lost a second", "By the moment in which their stories began.", picture, err,
+	); err != nil {
 		return nil, err
 	}
 	picture, err = overTime(c, "milliseconds", func(s *measure.Series) []float64 { return s.P99 }, 0)
-	if err := add("99 in 100 answers are faster than", "By the moment in which their stories began.", picture, err); err != nil {
+	if err := add(
+		"99 in 100 answers are faster than", "By the moment in which their stories began.", picture, err,
+	); err != nil {
 		return nil, err
 	}
 	picture, err = latencies(c)
-	if err := add("How long answers took", "Each class a line. From one mark to the next ten times fewer answers take longer.", picture, err); err != nil {
+	if err := add(
+		"How long answers took", "Each class a line. From one mark to the next ten times fewer answers take longer.",
+		picture, err,
+	); err != nil {
 		return nil, err
 	}
 	picture, err = endpointLoads(c)
-	if err := add("Load by endpoint", "The part of its core time for which each endpoint was at work, over the whole run, by zone.", picture, err); err != nil {
+	if err := add(
+		"Load by endpoint",
+		"The part of its core time for which each endpoint was at work, over the whole run, by zone.", picture, err,
+	); err != nil {
 		return nil, err
 	}
 	return all, nil
--- a/internal/experiment/report/report.go
+++ b/internal/experiment/report/report.go
@@ -1,5 +1,5 @@
-// Package report writes what came of experiments, for people who never saw the tool: one page of HTML that needs nothing
-// beside itself, or Markdown. It knows comparisons, and runs nothing.
+// Package report writes what came of experiments, for people who never saw the tool: one page of HTML that needs
+// nothing beside itself, or Markdown. It knows comparisons, and runs nothing.
 package report
 
 import (
@@ -76,7 +76,12 @@
 		return fmt.Errorf("%s: a report of a sweep ends in .html", path)
 	}
 	plan := &s.Points[0].Plan
-	d := &data{Title: "Values compared", A: plan.A.Spec, Confidence: 100 * experiment.Confidence, Method: "Differences are from the first place, pair by pair."}
+	d := &data{
+		Title:      "Values compared",
+		A:          plan.A.Spec,
+		Confidence: 100 * experiment.Confidence,
+		Method:     "Differences are from the first place, pair by pair.",
+	}
 	for _, name := range figures {
 		if f, ok := measure.Describe(name); ok {
 			d.Figures = append(d.Figures, f)
@@ -85,7 +90,11 @@
 		if err != nil {
 			return fmt.Errorf("picture of %s: %w", name, err)
 		}
-		d.Charts = append(d.Charts, chart{Title: name, SVG: picture, About: "Means with intervals of 95%, over " + fmt.Sprint(len(s.Points[0].Seeds)) + " seeds of " + plan.Scenario.Name + "."})
+		d.Charts = append(d.Charts, chart{
+			Title: name,
+			SVG:   picture,
+			About: "Means with intervals of 95%, over " + fmt.Sprint(len(s.Points[0].Seeds)) + " seeds of " + plan.Scenario.Name + ".",
+		})
 	}
 	for _, a := range s.Axes {
 		d.Head = append(d.Head, a.Key)
@@ -130,8 +139,12 @@
 
 func buildData(all []*experiment.Comparison, pictures bool) (*data, error) {
 	p := &all[0].Plan
-	d := &data{Title: "Runs of the fleet's model", A: p.A.Spec, Confidence: 100 * experiment.Confidence, Figures: measure.Figures,
-		Method: "Intervals are Student's, of the differences pair by pair."}
+	d := &data{
+		Title:      "Runs of the fleet's model",
+		A:          p.A.Spec,
+		Confidence: 100 * experiment.Confidence,
+		Figures:    measure.Figures,
+		Method:     "Intervals are Student's, of the differences pair by pair."}
 	if p.Method == "bootstrap" {
 		d.Method = "Intervals are by percentiles of the bootstrap, of the differences pair by pair."
 	}
@@ -141,8 +154,14 @@
 	for _, c := range all {
 		s := c.Plan.Scenario
 		plan := s.Draw(c.Plan.FirstSeed)
-		x := scenarioSection{Name: s.Name, About: s.About, Length: s.Length.Duration.String(), Line: c.Line(), Seeds: len(c.Seeds), Instances: len(plan.Instances),
-			Nodes: len(plan.Endpoints), Rate: plan.Rate}
+		x := scenarioSection{
+			Name:      s.Name,
+			About:     s.About,
+			Length:    s.Length.Duration.String(),
+			Line:      c.Line(),
+			Seeds:     len(c.Seeds),
+			Instances: len(plan.Instances),
+			Nodes:     len(plan.Endpoints), Rate: plan.Rate}
 		if c.RunsB != nil && c.Rows[0].Verdict != experiment.Inconclusive {
 			x.Verdict = c.Rows[0].Verdict.String()
 		}
@@ -186,12 +205,21 @@
 	}
 	b.WriteString(".\n")
 	for _, x := range d.Parts {
-		fmt.Fprintf(&b, "\n## %s\n\n%s %d seeds, %s each; %d instances, %d endpoints, %.0f stories a second.\n\n**%s**\n\n", x.Name, x.About, x.Seeds, x.Length,
+		fmt.Fprintf(
+			&b,
+			"\n## %s\n\n%s %d seeds, %s each; %d instances, %d endpoints, %.0f stories a second.\n\n**%s**\n\n",
+			x.Name,
+			x.About,
+			x.Seeds,
+			x.Length,
 			x.Instances, x.Nodes, x.Rate, x.Line)
 		if len(x.Claims) > 0 {
 			b.WriteString("| claim | verdict | is | margin |\n| --- | --- | --- | --- |\n")
 			for _, j := range x.Claims {
-				fmt.Fprintf(&b, "| `%s` | %v | %.4g | %.3g ± %.2g |\n", j.Claim, j.Verdict, j.Left, j.Margin.Mean, j.Margin.HalfWidth())
+				fmt.Fprintf(
+					&b, "| `%s` | %v | %.4g | %.3g ± %.2g |\n", j.Claim, j.Verdict, j.Left, j.Margin.Mean,
+					j.Margin.HalfWidth(),
+				)
 			}
 			b.WriteString("\n")
 		}
--- a/internal/experiment/report/report_test.go
+++ b/internal/experiment/report/report_test.go
@@ -27,7 +27,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := (&experiment.Runner{}).Compare(context.Background(), experiment.Plan{Scenario: s, A: a, B: b, FirstSeed: 1, MinSeeds: 3})
+	c, err := (&experiment.Runner{}).Compare(
+		context.Background(), experiment.Plan{Scenario: s, A: a, B: b, FirstSeed: 1, MinSeeds: 3},
+	)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/search.go
+++ b/internal/experiment/search.go
@@ -50,8 +50,8 @@
 	minRemainingLoss = 0.8 // of its loss must be left in what is made small
 )
 
-// Search looks for the plan at which a variant does worst, and makes it small: what is left of it matters. It is a search by
-// chance and by changing what is bad already: that nothing is found says little.
+// Hunt looks for the plan at which a variant does worst, and makes it small: what is left of it matters. It is a search
+// by chance and by changing what is bad already: that nothing is found says little.
 func (r *Runner) Search(ctx context.Context, h SearchOptions) (*Finding, error) {
 	x := &search{SearchOptions: h, runner: r, rng: rand.New(rand.NewPCG(h.Seed, 11))}
 	least := int(randomFraction * float64(h.Budget))
@@ -152,9 +152,21 @@
 	what  string
 	sizes [2]float64
 	every bool
-}{{"slow", [2]float64{1.5, 20}, false}, {"errors", [2]float64{0.05, 1}, false}, {"mute", [2]float64{0.02, 0.6}, false}, {"neighbour", [2]float64{0.2, 0.9}, true},
-	{"lies", [2]float64{1, 8}, false}, {"late-reports", [2]float64{}, false}, {"kill", [2]float64{}, false}, {"vanish", [2]float64{}, false},
-	{"drain", [2]float64{}, false}, {"pause", [2]float64{}, false}, {"surge", [2]float64{1.2, 4}, false}, {"stale", [2]float64{}, false}, {"cut", [2]float64{}, false}}
+}{
+	{"slow", [2]float64{1.5, 20}, false},
+	{"errors", [2]float64{0.05, 1}, false},
+	{"mute", [2]float64{0.02, 0.6}, false},
+	{"neighbour", [2]float64{0.2, 0.9}, true},
+	{"lies", [2]float64{1, 8}, false},
+	{"late-reports", [2]float64{}, false},
+	{"kill", [2]float64{}, false},
+	{"vanish", [2]float64{}, false},
+	{"drain", [2]float64{}, false},
+	{"pause", [2]float64{}, false},
+	{"surge", [2]float64{1.2, 4}, false},
+	{"stale", [2]float64{}, false},
+	{"cut", [2]float64{}, false},
+}
 
 // event draws one.
 func (x *search) drawEvent(s *scenario.Scenario) scenario.Event {
--- a/internal/experiment/size_test.go
+++ b/internal/experiment/size_test.go
@@ -11,12 +11,15 @@
 	"testing"
 )
 
-// A constant of the decisions is given another value where it is declared, and nothing else changes. What is no constant of
-// the module is told.
+// A constant of the decisions is given another value where it is declared, and nothing else changes. What is no
+// constant of the module is told.
 func TestConstants(t *testing.T) {
 	root := "../.."
 	files := map[string][]byte{}
-	for _, text := range []string{"balancer.maxAcceptWeight=1.3", "balancer.breakerWindow = 30 * second", "internal/decide/concurrency.defaultShrinkThreshold=1.0 / 3"} {
+	for _, text := range []string{
+		"balancer.maxAcceptWeight=1.3", "balancer.breakerWindow = 30 * second",
+		"internal/decide/concurrency.defaultShrinkThreshold=1.0 / 3",
+	} {
 		c, err := ParseConstant(text)
 		if err == nil {
 			err = c.applyTo(root, files)
@@ -47,8 +50,12 @@
 			t.Errorf("%s: %d lines have changed, want %d", name, changed, want)
 		}
 	}
-	for text, want := range map[string]error{"balancer.maxAcceptWeight": nil, "maxAcceptWeight=1": nil, "balancer.maxAcceptWeight=1 +": nil, "../x.maxAcceptWeight=1": nil,
-		"balancer.noSuch=1": errNoConstant, "balancer.Balancer=1": errNoConstant, "noSuch.maxAcceptWeight=1": fs.ErrNotExist} {
+	for text, want := range map[string]error{
+		"balancer.maxAcceptWeight":     nil,
+		"maxAcceptWeight=1":            nil,
+		"balancer.maxAcceptWeight=1 +": nil,
+		"../x.maxAcceptWeight=1":       nil,
+		"balancer.noSuch=1":            errNoConstant, "balancer.Balancer=1": errNoConstant, "noSuch.maxAcceptWeight=1": fs.ErrNotExist} {
 		c, err := ParseConstant(text)
 		if err == nil {
 			err = c.applyTo(root, files)
@@ -59,8 +66,8 @@
 	}
 }
 
-// A run of a size is made by a process of its own, and what that used is known; it is the same with one processor and with
-// four.
+// A run of a size is made by a process of its own, and what that used is known; it is the same with one processor and
+// with four.
 func TestScaling(t *testing.T) {
 	self := must[string](t)(os.Executable())
 	sc := Scaling{Scenario: short(t), Variant: variant(t, Shipped), Subset: 6, Operations: 800, Seed: 1, Program: self}
--- a/internal/experiment/stats/stats.go
+++ b/internal/experiment/stats/stats.go
@@ -1,4 +1,5 @@
-// Package stats says how far measured differences may be believed. It knows numbers, and nothing of where they come from.
+// Package stats says how far measured differences may be believed. It knows numbers, and nothing of where they come
+// from.
 package stats
 
 import (
@@ -55,7 +56,10 @@
 	}
 	slices.Sort(means)
 	tail := (1 - confidence) / 2
-	return Interval{stat.Mean(v, nil), stat.Quantile(tail, stat.Empirical, means, nil), stat.Quantile(1-tail, stat.Empirical, means, nil), len(v)}
+	return Interval{
+		stat.Mean(v, nil), stat.Quantile(tail, stat.Empirical, means, nil),
+		stat.Quantile(1-tail, stat.Empirical, means, nil), len(v),
+	}
 }
 
 // PredictionInterval returns the mean of some numbers, and the interval in which one more of their kind lies with a confidence.
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -18,9 +18,9 @@
 	"dunlinsail/internal/simulation/measure"
 )
 
-// Store keeps what was run, so that nothing is run twice: an experiment that was cut off goes on from what is there. A run
-// is known by all that it depends on, the build too; each is written in a transaction of its own, and is there whole or
-// not at all after a crash.
+// Store keeps what was run, so that nothing is run twice: an experiment that was cut off goes on from what is there. A
+// run is known by all that it depends on, the build too; each is written in a transaction of its own, and is there
+// whole or not at all after a crash.
 type Store struct{ db *bbolt.DB }
 
 var runsBucket = []byte("runs 1")
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -33,9 +33,9 @@
 	Harm          float64
 }
 
-// ParseVariant reads a variant: [@PROGRAM:]FILE[,KEY=VALUE]..., where FILE is a daemon's file or "shipped", and a key one
-// of that file, or world.KEY of the scenario, or lots (another draw of what instances leave to chance), or harm (a part of
-// the stories that is spoilt, to see whether a comparison finds it).
+// ParseVariant reads a variant: [@PROGRAM:]FILE[,KEY=VALUE]..., where FILE is a daemon's file or "shipped", and a key
+// one of that file, or world.KEY of the scenario, or lots (another draw of what instances leave to chance), or harm (a
+// part of the stories that is spoilt, to see whether a comparison finds it).
 func ParseVariant(spec string) (*Variant, error) {
 	v := &Variant{Spec: spec}
 	rest := spec
@@ -136,7 +136,14 @@
 	if text, err = applyEdits(text, v.ScenarioEdits); err != nil {
 		return Job{}, fmt.Errorf("variant %q: %w", v.Spec, err)
 	}
-	return Job{Scenario: string(text), Settings: string(v.Settings), CriteriaSettings: string(judge.Settings), Seed: seed, DecisionSeed: v.DecisionSeed, Harm: v.Harm}, nil
+	return Job{
+		Scenario:         string(text),
+		Settings:         string(v.Settings),
+		CriteriaSettings: string(judge.Settings),
+		Seed:             seed,
+		DecisionSeed:     v.DecisionSeed,
+		Harm:             v.Harm,
+	}, nil
 }
 
 // Play makes the run by this build's decisions.
@@ -169,8 +176,16 @@
 
 // settings returns what the model takes of a daemon's file.
 func modelSettings(c *config.Config) *simulation.Settings {
-	s := &simulation.Settings{Site: c.Site, Concurrency: c.Sharing(), MaxConnections: c.Connections.MaxEndpoints, Clients: c.RestLimits(), Client: fairqueue.ClientSpec{Weight: 1},
-		Subset: c.Fleet.SubsetSettings(), Overload: c.Overload.Settings(c.Fleet.Instances), Coordination: c.Coordination(0)}
+	s := &simulation.Settings{
+		Site:           c.Site,
+		Concurrency:    c.Sharing(),
+		MaxConnections: c.Connections.MaxEndpoints,
+		Clients:        c.RestLimits(),
+		Client:         fairqueue.ClientSpec{Weight: 1},
+		Subset:         c.Fleet.SubsetSettings(),
+		Overload:       c.Overload.Settings(c.Fleet.Instances),
+		Coordination:   c.Coordination(0),
+	}
 	if len(c.Clients) > 0 {
 		s.Client = c.Clients[0].Share(c.Clients[0].Name)
 	}
@@ -187,7 +202,14 @@
 	for _, t := range c.Tenants {
 		limits[t.Name] = t.RateLimit
 	}
-	return measure.Criteria{Classes: s.Classes, Tenants: s.Tenants, TenantLimits: limits, OverQuotaWeight: s.OverQuotaWeight, Goal: s.Goal, Prices: s.Prices}
+	return measure.Criteria{
+		Classes:         s.Classes,
+		Tenants:         s.Tenants,
+		TenantLimits:    limits,
+		OverQuotaWeight: s.OverQuotaWeight,
+		Goal:            s.Goal,
+		Prices:          s.Prices,
+	}
 }
 
 // Reply is what another build says of a run.
@@ -234,7 +256,10 @@
 	case reply.Error != "":
 		return nil, nil, fmt.Errorf("%s: %s", program, reply.Error)
 	case reply.ModelVersion != simulation.Version:
-		return nil, nil, fmt.Errorf("%s has another model of what is outside (%d, not %d): runs of both cannot be compared", program, reply.ModelVersion, simulation.Version)
+		return nil, nil, fmt.Errorf(
+			"%s has another model of what is outside (%d, not %d): runs of both cannot be compared", program,
+			reply.ModelVersion, simulation.Version,
+		)
 	case reply.Result == nil || math.IsNaN(reply.Result.Figures["service"]):
 		return nil, nil, fmt.Errorf("%s: its run has no figures", program)
 	}
