--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,310 +1,316 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math"
 	"net/http"
-	"net/http/httputil"
-	"net/textproto"
-	"strconv"
-	"strings"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/core"
 	"dunlinsail/internal/engine"
-	"dunlinsail/internal/siteconfig"
+	"dunlinsail/internal/http1msg"
 )
 
-const (
-	maxResponseBytes = siteconfig.MaxBodyBytes + 64<<10 // with its head and framing
-	probeTimeout     = 250 * time.Millisecond
-)
-
-// BufferedRequest is a request as it goes on to an endpoint, but for the time that it has left.
-type BufferedRequest struct {
-	Method, URI, Host string
-	Header            http.Header // end-to-end headers
-	Body              []byte
-}
+// bufferWindow is how long a response may take to arrive and still be buffered: one that arrives over a longer time is
+// streamed.
+const bufferWindow = 20 * time.Millisecond
 
-// BufferedResponse is an endpoint's 200 answer.
-type BufferedResponse struct {
-	Header http.Header
-	Body   []byte
-}
+// maxResponseHeadBytes bounds the heads of one response, those of interim (1xx) responses included.
+const maxResponseHeadBytes = 64 << 10
 
-// SendBuffered makes one attempt (core.Attempt, but for the message). The Answer of its reply is an *Answer.
-func (p *Pool) SendBuffered(ctx context.Context, t *core.AttemptContext, m *BufferedRequest) engine.AttemptResult {
+// Send makes one attempt (core.AttemptFunc, but for the request). The Response of its result is a *Response.
+func (p *Pool) Send(ctx context.Context, t *core.AttemptContext, q *Request) engine.AttemptResult {
 	c, left, status := p.acquire(ctx, t)
 	if c == nil {
 		return p.result(status)
 	}
-	return p.roundTrip(ctx, c, m.encode(left), &p.forwarded, func(keep bool) { p.release(c, t, keep) })
-}
-
-// ready returns a connection for an attempt that may go now, and the milliseconds that are left for it; or none, and
-// what has come of the attempt.
-func (p *Pool) acquire(ctx context.Context, t *core.AttemptContext) (c *Conn, leftMs int64, status balancer.Status) {
-	c, err := p.Get(ctx, t.Target.(*Target))
-	if err != nil {
-		return nil, 0, p.noConnStatus(ctx, err)
-	}
-	if t.OnAbort != nil && !t.OnAbort(func() { c.Conn.Close() }) {
+	if q.Stream != nil && !q.Stream.Claim() {
 		p.releaseUnused(c, t)
-		return nil, 0, balancer.NotSent
+		return p.result(balancer.NotSent)
 	}
-	now := p.options.Clock.Now()
-	leftMs = (t.Deadline - now) / 1000
-	if leftMs < 1 || !t.ClaimSend(now) {
-		p.releaseUnused(c, t)
-		return nil, 0, balancer.NotSent
-	}
-	return c, leftMs, balancer.OK
-}
-
-// release ends an attempt's use of a connection, which may be kept if all on it is over and nobody has ended the sending on it.
-func (p *Pool) release(c *Conn, t *core.AttemptContext, keep bool) {
-	if t.ReleaseConn != nil && !t.ReleaseConn() {
-		keep = false
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	e := &exchange{pool: p, conn: c, request: q, attempt: t}
+	if q.Stream != nil && q.ResponseTimeout > 0 {
+		left = min(left, q.ResponseTimeout.Milliseconds())
 	}
-	if keep {
-		p.Put(c)
-	} else {
-		p.Discard(c)
+	r, keep := e.run(ctx, q.encode(left))
+	r.SentAt = max(e.sentAt.Load(), c.availableAt)
+	if q.Stream != nil {
+		q.Stream.finish(e)
+		keep = keep && q.Stream.Body.Done()
 	}
+	c.SetReadDeadline(time.Time{}) // of a part that was waited for
+	p.release(c, t, stop() && keep && c.reader.Buffered() == 0)
+	return r
 }
 
-// unused ends an attempt's use of a connection on which nothing was written.
-func (p *Pool) releaseUnused(c *Conn, t *core.AttemptContext) {
-	if t.ReleaseConn != nil && !t.ReleaseConn() {
-		p.Discard(c)
-		return
-	}
-	p.putUnused(c)
+// exchange is one attempt: a request written to a connection, and the response read from it.
+type exchange struct {
+	pool        *Pool
+	conn        *Conn
+	request     *Request
+	attempt     *core.AttemptContext
+	bodyWritten chan struct{} // closed once the body that streams has been written, or not
+	sentAt      atomic.Int64  // when its last byte was; 0 is not yet
+
+	mu        sync.Mutex
+	responded bool // or never will be
 }
 
-// Probe asks an endpoint for its load, or for its health where there are no load reports.
-func (to *Target) Probe() engine.AttemptResult {
-	p := to.pool
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	// A probe may go where a second answer may still come: it is known by its report.
-	c, _, err := p.getConn(ctx, to, true)
-	if err != nil {
-		return p.result(p.noConnStatus(ctx, err))
-	}
-	answered := c.lastResponse
-	m := BufferedRequest{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
-	if len(p.options.LoadFields) > 0 {
-		m.URI = "/-/load"
+// run writes the request and reads its answer, and says whether the connection may be used again.
+func (e *exchange) run(ctx context.Context, text []byte) (r engine.AttemptResult, keep bool) {
+	p, c, q := e.pool, e.conn, e.request
+	c.readLimit.N = maxResponseHeadBytes
+	c.SetDeadline(time.Time{})
+	n, err := c.Write(text)
+	switch {
+	case err != nil && n < len(text):
+		// Its last byte was not written, so it never ran, unless an endpoint begins with half a body.
+		if q.Stream == nil {
+			return p.result(balancer.ConnectFailed), false
+		}
+		return p.result(balancer.Reset), false
+	case err != nil:
+		return p.result(balancer.Reset), false
 	}
-	keep := false
-	r := p.roundTrip(ctx, c, m.encode(0), nil, func(whole bool) { keep = whole })
-	if r.Status == balancer.OK && len(p.options.LoadFields) > 0 {
-		r.Load = parseLoad(p.options.LoadFields, string(r.Response.(*BufferedResponse).Body))
-		keep = keep && r.Load != nil // else it was the answer to something else, perhaps, and its own may follow
+	if q.Stream == nil {
+		p.forwarded.Add(1)
 	} else {
-		answered = time.Now() // what tells nothing may have been another's
+		e.bodyWritten = make(chan struct{})
+		go func() {
+			whole := e.writeBody()
+			close(e.bodyWritten) // first: what reads the answer must see whose fault its end is
+			if !whole {
+				c.Conn.Close() // the endpoint must not take what has come for the whole
+			}
+		}()
 	}
-	if keep {
-		p.putAfterResponse(c, answered)
-	} else {
-		p.Discard(c)
+	a, last, err := e.readHead()
+	e.mu.Lock()
+	e.responded = true
+	e.mu.Unlock()
+	r = p.result(balancer.Reset)
+	switch {
+	case err != nil && q.Stream != nil && q.Stream.clientFailed(e.bodyWritten):
+		r.Status = balancer.Cancelled // what the client sent ended, not the endpoint
+		return r, false
+	case isTimeout(err):
+		r.Status = balancer.Timeout
+		return r, false
+	case err != nil:
+		return r, false
 	}
-	return r
-}
-
-func (p *Pool) result(status balancer.Status) engine.AttemptResult {
-	return engine.AttemptResult{Status: status, ObservedAt: p.options.Clock.Now()}
-}
-
-// exchange writes a request and reads its answer. The connection is released, and kept if both are whole. A request that is
-// written whole is counted.
-func (p *Pool) roundTrip(ctx context.Context, c *Conn, text []byte, written *atomic.Uint64, release func(keep bool)) engine.AttemptResult {
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	c.readLimit.N = maxResponseBytes
-	n, err := c.Write(text)
+	c.readLimit.N = math.MaxInt64
+	r.Status = q.Policy.classify(a)
+	r.Load = e.takeLoadReport(a)
+	r.Response = a
+	r.SentAt = e.sentAt.Load()
+	if q.Policy.ReplaceErrors && r.Status != balancer.OK {
+		r.Response = nil
+		whole, err := e.bufferBody(a, http1msg.NewBody(c.reader, a.Framing), false)
+		return r, whole && err == nil && !last
+	}
+	began := r.ObservedAt
+	body := http1msg.NewBody(c.reader, a.Framing)
+	whole, err := e.bufferBody(a, body, q.Policy.BufferSlowResponses)
 	if err != nil {
-		stop()
-		release(false)
-		if n < len(text) {
-			return p.result(balancer.ConnectFailed) // its last byte was not written, so it never ran
-		}
-		return p.result(balancer.Reset)
+		return p.result(balancer.Reset), false
 	}
-	if written != nil {
-		written.Add(1)
+	if whole {
+		r.ObservedAt = p.options.Clock.Now()
+		a.Trailer = body.Trailer()
+		c.SetReadDeadline(time.Time{})
+		return r, !last
 	}
-	a, err := c.readResponse()
-	r := p.result(balancer.Reset)
-	release(stop() && err == nil && !a.closeAfter && c.reader.Buffered() == 0)
-	if err != nil {
-		return r
+	// What is not held is final, also where it tells of an error: nothing of it could be shown if another try failed too.
+	rest := &ResponseStream{conn: c, body: body, policy: q.Policy, remaining: math.MaxInt64, ended: make(chan error, 1)}
+	if q.Policy.MaxBytes > 0 {
+		rest.remaining = q.Policy.MaxBytes - int64(len(a.Buffered))
+	}
+	if q.Policy.BodyTimeout > 0 {
+		rest.deadline = time.Now().Add(q.Policy.BodyTimeout)
+	}
+	a.Stream = rest
+	failed := r.Status
+	r.Status, r.ObservedAt = balancer.OK, began
+	if !e.attempt.ResponseStarted(r) {
+		return p.result(balancer.Cancelled), false
+	}
+	r.Response = nil // it is the client's already
+	select {
+	case err = <-rest.ended:
+	case <-ctx.Done(): // nobody has taken it: the client went at that moment
+		return p.result(balancer.Cancelled), false
 	}
 	switch {
-	case a.statusCode == http.StatusOK:
-		r.Status, r.Response = balancer.OK, &a.BufferedResponse
-	case (a.statusCode == http.StatusServiceUnavailable || a.statusCode == http.StatusGatewayTimeout) &&
-		a.Header.Get("X-Never-Ran") == "1":
-		r.Status = balancer.Rejected
-	default:
+	case body.Done():
+		r.Status = failed
+		return r, !last
+	case err == nil:
+		r.Status = balancer.Cancelled // the client went
+	case err == ErrResponseTooLong:
 		r.Status = balancer.Error
+	default:
+		r.Status = balancer.Reset
 	}
-	if p.options.LoadInResponses {
-		r.Load = parseLoad(p.options.LoadFields, a.Header.Get("Endpoint-Load-Metrics"))
-	}
-	return r
+	return r, false
 }
 
-const (
-	maxInterimResponses = 8                      // answers 1xx ahead of the one that counts
-	maxResponseStall    = 100 * time.Millisecond // an answer that has begun is whole within this
-)
-
-var (
-	errAmbiguousLength   = errors.New("nothing tells for sure where the answer ends")
-	errResponseTooLarge  = errors.New("the answer is too large")
-	errMalformedResponse = errors.New("the answer is no HTTP/1")
-)
-
-// got is a whole answer.
-type parsedResponse struct {
-	BufferedResponse
-	statusCode int
-	closeAfter bool // the endpoint closes the connection after it
+// writeBody forwards the streaming body as it arrives. It returns false if the client has not sent all of it.
+func (e *exchange) writeBody() bool {
+	s, buf := e.request.Stream, streamBuffers.Get().(*[streamBufferSize]byte)
+	total := int64(0)
+	defer streamBuffers.Put(buf)
+	const room = 16 // for a chunk's head
+	for {
+		s.BeforeRead()
+		if s.aborted.Load() {
+			return true
+		}
+		n, err := s.Body.Read(buf[room : streamBufferSize-2])
+		if total += int64(n); s.MaxBytes >= 0 && total > s.MaxBytes {
+			n, err = 0, ErrRequestBodyTooLong
+		}
+		if n > 0 {
+			text := buf[room : room+n]
+			if s.Length < 0 {
+				head := http1msg.AppendChunkHeader(nil, n)
+				copy(buf[room-len(head):], head)
+				text = append(buf[room-len(head):room+n], '\r', '\n')
+			}
+			e.conn.SetWriteDeadline(time.Now().Add(e.request.Policy.IdleTimeout))
+			if _, failed := e.conn.Write(text); failed != nil {
+				return true // the endpoint may have answered, or what reads from it sees why not
+			}
+		}
+		switch {
+		case err == io.EOF:
+			if s.Length < 0 {
+				e.conn.SetWriteDeadline(time.Now().Add(e.request.Policy.IdleTimeout))
+				if _, failed := e.conn.Write(http1msg.AppendLastChunk(nil, s.Body.Trailer())); failed != nil {
+					return true
+				}
+			}
+			e.pool.forwarded.Add(1)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.conn.SetWriteDeadline(time.Time{})
+			e.sentAt.Store(e.pool.options.Clock.Now())
+			if wait := e.request.responseTimeout(); !e.responded && wait > 0 {
+				e.conn.SetReadDeadline(time.Now().Add(wait))
+			}
+			return true
+		case err != nil:
+			s.err = err
+			return false
+		}
+	}
 }
 
-// read reads a whole answer. One that ends early, whose end is told in two ways, or that only the end of the
-// connection ends, is an error: nothing but what the endpoint made for the request may pass for its answer.
-// http.ReadResponse would hide that it had both a length and chunks.
-func (c *Conn) readResponse() (*parsedResponse, error) {
-	for range maxInterimResponses {
-		c.SetReadDeadline(time.Time{})
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, err
+// readHead reads up to the head of the final response, and reports whether the endpoint closes the connection after it.
+func (e *exchange) readHead() (*Response, bool, error) {
+	a := &Response{}
+	for len(a.Interim) <= maxInterimResponses {
+		if _, err := e.conn.reader.Peek(1); err != nil {
+			return nil, false, err
 		}
-		c.SetReadDeadline(time.Now().Add(maxResponseStall))
-		a, err := c.readHead()
+		g, err := e.conn.readHead()
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
-		if a.statusCode < 200 {
+		if g.statusCode == http.StatusSwitchingProtocols || !isValidHeader(g.Header) {
+			return nil, false, errMalformedResponse // nobody has asked for the one, and clients could see another head in the other
+		}
+		if g.statusCode < 200 {
+			if g.statusCode != http.StatusContinue { // that is between this hop and the endpoint
+				a.Interim = append(a.Interim, InterimResponse{g.statusCode, g.Header})
+			}
 			continue
 		}
-		a.Body, err = c.readBody(a)
-		c.SetReadDeadline(time.Time{})
-		return a, err
+		a.StatusCode, a.Header = g.statusCode, g.Header
+		a.Framing, err = http1msg.ResponseFraming(e.request.Method, g.statusCode, g.Header)
+		return a, g.closeAfter || a.Framing.Kind == http1msg.UntilClose, err
 	}
-	return nil, errResponseTooLarge
+	return nil, false, errResponseTooLarge
 }
 
-// head reads a status line and headers.
-func (c *Conn) readHead() (*parsedResponse, error) {
-	text := textproto.NewReader(c.reader)
-	line, err := text.ReadLine()
-	if err != nil {
-		return nil, err
+// isValidHeader reports whether all names and values are valid in a head (RFC 9110, section 5).
+func isValidHeader(h http.Header) bool {
+	for name, values := range h {
+		if !http1msg.IsToken(name) {
+			return false
+		}
+		for _, v := range values {
+			if !http1msg.IsFieldValue(v) {
+				return false
+			}
+		}
 	}
-	version, rest, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(rest, " ")
-	a := &parsedResponse{}
-	if a.statusCode, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.statusCode < 100 ||
-		version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return nil, errMalformedResponse
+	return true
+}
+
+// bufferBody reads as much of a response as is buffered, and reports whether that is all. With waitForAll, a response of
+// known length is waited for until the time of the attempt ends.
+func (e *exchange) bufferBody(a *Response, body *http1msg.Body, patient bool) (bool, error) {
+	if body.Done() {
+		return true, nil
 	}
-	header, err := text.ReadMIMEHeader()
-	if err != nil {
-		return nil, err
+	rules := e.request.Policy
+	if a.Framing.Kind == http1msg.FixedLength && a.Framing.Length > rules.MaxBuffered {
+		return false, nil
 	}
-	a.Header = http.Header(header)
-	a.closeAfter = version == "HTTP/1.0"
-	for _, v := range a.Header["Connection"] {
-		a.closeAfter = a.closeAfter || strings.Contains(strings.ToLower(v), "close")
+	size := int64(512)
+	if a.Framing.Kind == http1msg.FixedLength {
+		size = a.Framing.Length
 	}
-	return a, nil
-}
-
-// body reads what the head announces.
-func (c *Conn) readBody(a *parsedResponse) ([]byte, error) {
-	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
-	switch {
-	case len(lengths) == 1 && len(encodings) == 0:
-		n, err := strconv.ParseUint(lengths[0], 10, 63)
-		if err != nil {
-			return nil, err
-		}
-		if n > siteconfig.MaxBodyBytes {
-			return nil, errResponseTooLarge
+	a.Buffered = make([]byte, 0, min(size, rules.MaxBuffered)+1)
+	until := time.Now().Add(bufferWindow)
+	for int64(len(a.Buffered)) <= rules.MaxBuffered {
+		if len(a.Buffered) == cap(a.Buffered) {
+			grown := make([]byte, len(a.Buffered), min(2*int64(cap(a.Buffered)), rules.MaxBuffered+1))
+			copy(grown, a.Buffered)
+			a.Buffered = grown
 		}
-		body := make([]byte, n)
-		_, err = io.ReadFull(c.reader, body)
-		return body, err
-	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), siteconfig.MaxBodyBytes+1))
-		if err == nil && len(body) > siteconfig.MaxBodyBytes {
-			err = errResponseTooLarge
+		if body.Buffered() == 0 {
+			e.conn.SetReadDeadline(until)
 		}
-		if err == nil {
-			_, err = textproto.NewReader(c.reader).ReadMIMEHeader() // the trailer
+		n, err := body.Read(a.Buffered[len(a.Buffered):cap(a.Buffered)])
+		a.Buffered = a.Buffered[:len(a.Buffered)+n]
+		switch {
+		case err == io.EOF:
+			return true, nil
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.FixedLength && len(a.Buffered) > 0:
+			e.attempt.ResponseProgress() // it is slow, but not silent
+			until = time.Time{}
+		case isTimeout(err) && patient && a.Framing.Kind == http1msg.FixedLength:
+			// A head alone is not passed on: its client would be shown an answer that may never come, where another try may yet
+			// serve it. The attempt's own time bounds this.
+			until = time.Now().Add(bufferWindow)
+		case isTimeout(err):
+			return false, nil
+		case err != nil:
+			return false, err
 		}
-		return body, err
-	case len(lengths) == 0 && len(encodings) == 0 && (a.statusCode == http.StatusNoContent || a.statusCode == http.StatusNotModified):
-		return nil, nil
 	}
-	return nil, errAmbiguousLength
+	return false, nil
 }
 
-// head begins a request, up to the fields that frame its body, with the time that is left for it in a header, if any.
-func (m *BufferedRequest) encodeHead(deadline string, leftMs int64) *bytes.Buffer {
-	b := &bytes.Buffer{}
-	b.Grow(512 + len(m.Body))
-	b.WriteString(m.Method + " " + m.URI + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
-	_ = m.Header.Write(b) // writing to memory does not fail
-	if leftMs > 0 && deadline != "" {
-		b.WriteString(deadline + ": " + strconv.FormatInt(leftMs, 10) + "\r\n")
-	}
-	return b
-}
-
-// bytes writes the request in one piece, with the time that is left for it in milliseconds, if any.
-func (m *BufferedRequest) encode(leftMs int64) []byte {
-	b := m.encodeHead("X-Expires-In-Ms", leftMs)
-	if len(m.Body) > 0 || m.Method != http.MethodGet {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(m.Body)
-	return b.Bytes()
-}
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// parseLoad reads a report, TEXT name=value, name=value, into the order of fields. A figure that is missing
-// or makes no sense is NaN, never zero; a report without any sound figure is none.
-func parseLoad(fields []string, text string) []float32 {
-	text = strings.TrimPrefix(strings.TrimSpace(text), "TEXT ")
-	load := make([]float32, len(fields))
-	for i := range load {
-		load[i] = float32(math.NaN())
-	}
-	any := false
-	for _, pair := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
-		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-			continue
+// takeLoadReport returns the load report in a response, and removes it from the header.
+func (e *exchange) takeLoadReport(a *Response) (load []float32) {
+	const name = "Endpoint-Load-Metrics"
+	if text := a.Header[name]; len(text) > 0 {
+		if e.pool.options.LoadInResponses {
+			load = parseLoad(e.pool.options.LoadFields, text[0])
 		}
-		for i, f := range fields {
-			if f == strings.TrimSpace(name) {
-				load[i], any = float32(v), true
-			}
-		}
-	}
-	if !any {
-		return nil
+		delete(a.Header, name)
 	}
 	return load
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,6 +1,6 @@
-// Package upstream keeps connections to endpoints and makes attempts and probes on them. It decides nothing of
-// where a request goes, and knows nothing of clients. pool.go holds the connections, for whatever protocol is
-// spoken on them; exchange.go speaks HTTP/1.1.
+// Package upstream holds the connections to endpoints and makes attempts and probes on them over HTTP/1.1 (RFC 9112).
+// It does not choose endpoints, and must not import the packages that serve clients. pool.go manages the connections;
+// exchange.go makes attempts whose bodies may stream; buffered.go makes small attempts and probes.
 package upstream
 
 import (
@@ -24,41 +24,41 @@
 
 const sweepInterval = time.Second
 
-// Options say how a Pool behaves.
+// Options configure a Pool.
 type Options struct {
 	Clock           clock.Clock
 	Log             *slog.Logger
-	DialTimeout     time.Duration // 0 is that of a probe
-	KeepAlive       time.Duration // an endpoint closes a connection that has been idle for so long
+	DialTimeout     time.Duration // 0 means probeTimeout
+	KeepAlive       time.Duration // after which an endpoint closes an idle connection
 	MaxConns        int           // connections open or being opened
-	ReuseDelay      time.Duration // for which a connection rests after an answer: a second one may follow; 0 is not at all
-	LoadFields      []string      // of a load report
-	LoadInResponses bool          // answers carry load reports, too
+	ReuseDelay      time.Duration // before a connection is used again (DefaultReuseDelay); 0 is none
+	LoadFields      []string      // fields of a load report, in the order of their values
+	LoadInResponses bool          // responses carry load reports, too
 
 	// Dial opens a connection; nil is that of package net.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// Pool is a small pool of connections. It is not an http.Transport since that sends some requests again by
-// itself when a kept connection breaks, and does not tell whether the last byte was written. Here an attempt is
-// written at most once, in one piece.
+// Pool is a small pool of connections; its methods may be called concurrently. It is not an http.Transport since that
+// resends some requests by itself when a reused connection breaks, and does not report whether the last byte was
+// written. Here an attempt is written at most once, its head in one piece.
 type Pool struct {
 	options     Options
 	maxIdleTime time.Duration
-	forwarded   atomic.Uint64 // attempts written whole
+	forwarded   atomic.Uint64 // attempts written completely
 
 	mu              sync.Mutex
 	openConns       int                  // open or being opened
 	idleTargets     map[*Target]struct{} // those with idle connections
 	lastShortageLog time.Time            // when a shortage of connections was last logged
-	discardIdle     bool                 // nothing idle is kept any more
+	discardIdle     bool                 // idle connections are closed
 
-	idleLimits map[string]float64 // idle connections that may be held, by whom it was said; nil is no bound
-	maxIdle    int                // that many; 0 is no bound
-	idleConns  int                // held
+	idleLimits map[string]float64 // idle connections allowed, by owner; empty is no bound
+	maxIdle    int                // the sum of idleLimits; 0 is no bound
+	idleConns  int                // idle at present
 }
 
-// New returns an empty pool. Run its Keep.
+// New returns an empty pool. The caller runs Run.
 func New(o Options) *Pool {
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = probeTimeout
@@ -70,18 +70,18 @@
 	return &Pool{options: o, maxIdleTime: o.KeepAlive * 2 / 3, idleTargets: map[*Target]struct{}{}}
 }
 
-// Forwarded returns how many attempts have been written whole to endpoints, their last byte included.
+// Forwarded returns how many attempts have been written to endpoints, their last byte included.
 func (p *Pool) Forwarded() uint64 { return p.forwarded.Load() }
 
-// Target is where one endpoint listens. Its connections are its own: a new endpoint may listen where one has
-// gone, and what was meant for the one must not reach the other.
+// Target is the address of one endpoint, with the connections to it. They are not shared by address: a new endpoint may
+// listen where another has gone, and what was meant for the one must not reach the other.
 type Target struct {
 	pool *Pool
 	addr string
 
 	// Guarded by Pool.mu.
 	idle    []*Conn
-	dropped bool // nothing new goes there
+	dropped bool // no attempt is made any more
 }
 
 // Target returns a new target for an address.
@@ -90,13 +90,13 @@
 // Conn is a connection to an endpoint.
 type Conn struct {
 	net.Conn
-	readLimit io.LimitedReader // what may still be read
+	readLimit io.LimitedReader // bytes that may still be read
 	reader    *bufio.Reader
 	target    *Target
-	idleSince time.Time // since when
+	idleSince time.Time // since when it is idle
 
-	lastResponse time.Time       // when the last answer came that may be followed by a second one; zero is never
-	availableAt  monotime.Micros // when an attempt on it could begin that had to wait for it; 0 is that it did not
+	lastResponse time.Time       // after which a second response may follow; zero is none
+	availableAt  monotime.Micros // end of the wait of an attempt for it; 0 is no wait
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
@@ -111,8 +111,8 @@
 	errEndpointGone = errors.New("the endpoint is gone")
 )
 
-// NoConn says what it means that there is no connection for an attempt, which never ran. What is our own doing
-// says nothing of the endpoint: blamed for it, a sound one would be ejected.
+// noConnStatus returns the status of an attempt for which there is no connection, which never ran. A shortage of our own
+// is no fault of the endpoint: a healthy one would be ejected for it.
 func (p *Pool) noConnStatus(ctx context.Context, err error) balancer.Status {
 	shortage := errors.Is(err, errConnLimit) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.EADDRNOTAVAIL)
@@ -133,13 +133,13 @@
 	return balancer.ConnectFailed
 }
 
-// DefaultReuseDelay is how long a connection rests after an answer. A second one may come some milliseconds late: what was written to
-// the connection meanwhile would be answered by it. A rest of this length shows such an answer, and the connection is
-// not used again. One that comes later still is only shown if nothing was written in between.
+// DefaultReuseDelay is how long a connection is not used after a response. A second response may follow some
+// milliseconds later, and would be taken for that to the next request. The delay reveals it, and the connection is
+// closed. One that comes later still is only detected if nothing was written in between.
 const DefaultReuseDelay = 20 * time.Millisecond
 
-// Get returns the idle connection used last of those that have rested, since the others may then grow old; else one that still
-// rests, once it has, since a new one costs more; else a new one.
+// Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else the
+// first to get past it, once it has, since a new one costs more; else a new one.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
@@ -152,7 +152,7 @@
 			p.putUnused(c)
 			return nil, ctx.Err()
 		}
-		c.availableAt = p.options.Clock.Now() // what it waited for says nothing of the endpoint
+		c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
 		p.mu.Lock()
 		gone, usable := to.dropped, p.isUsable(c)
 		if gone || !usable {
@@ -168,11 +168,11 @@
 	}
 }
 
-// get returns a connection, and for how long it still has to rest. Of those at rest any will do for who asks for it.
-func (p *Pool) getConn(ctx context.Context, to *Target, any bool) (c *Conn, wait time.Duration, err error) {
+// getConn returns a connection, and what is left of its reuse delay. With ignoreDelay any idle one will do.
+func (p *Pool) getConn(ctx context.Context, to *Target, ignoreDelay bool) (c *Conn, wait time.Duration, err error) {
 	p.mu.Lock()
 	for i := len(to.idle) - 1; i >= 0 && !to.dropped; i-- {
-		if !any && p.remainingReuseDelay(to.idle[i]) > 0 {
+		if !ignoreDelay && p.remainingReuseDelay(to.idle[i]) > 0 {
 			continue
 		}
 		c := p.removeIdleLocked(to, i)
@@ -212,7 +212,7 @@
 	return c, 0, nil
 }
 
-// restingLocked takes out the connection that has rested for longest, and returns for how long it still has to.
+// takeDelayedLocked removes the idle connection with the least left of its reuse delay, and returns both.
 func (p *Pool) takeDelayedLocked(to *Target) (*Conn, time.Duration) {
 	at := 0
 	for i, c := range to.idle {
@@ -224,7 +224,7 @@
 	return c, max(time.Nanosecond, p.remainingReuseDelay(c))
 }
 
-// settlesFor returns for how long a connection still has to rest.
+// remainingReuseDelay returns what is left of the reuse delay of a connection.
 func (p *Pool) remainingReuseDelay(c *Conn) time.Duration {
 	if p.options.ReuseDelay <= 0 {
 		return 0
@@ -234,19 +234,22 @@
 
 func (p *Pool) isUsable(c *Conn) bool { return time.Since(c.idleSince) < p.maxIdleTime && c.isAlive() }
 
-// LimitIdle bounds how many idle connections are held, for one who has endpoints here; the bounds of all add up. Of less than
-// one, one is held for that part of its time: over many instances that comes to the same. The one unused longest gives way.
-// 0 takes the bound of that one back.
-func (p *Pool) LimitIdle(who string, n float64) {
+// LimitIdle bounds the idle connections on behalf of one owner of endpoints; the bounds of all owners add up. A bound
+// below 1 keeps one connection for that part of the idle time: over many instances this comes to the same. The
+// connection unused longest is closed first. A limit of 0 removes the bound of the owner.
+func (p *Pool) LimitIdle(owner string, limit float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idleLimits == nil {
 		p.idleLimits = map[string]float64{}
 	}
-	if p.idleLimits[who] = n; n <= 0 {
-		delete(p.idleLimits, who)
+	p.idleLimits[owner] = limit
+	if limit <= 0 {
+		delete(p.idleLimits, owner)
 	}
-	if p.maxIdle, p.maxIdleTime = 0, p.options.KeepAlive*2/3; len(p.idleLimits) == 0 {
+	p.maxIdle = 0
+	p.maxIdleTime = p.options.KeepAlive * 2 / 3
+	if len(p.idleLimits) == 0 {
 		return
 	}
 	var sum float64
@@ -258,24 +261,25 @@
 	p.trimIdleLocked()
 }
 
-// trimLocked closes what is held at rest beyond its bound.
+// trimIdleLocked closes idle connections beyond their bound.
 func (p *Pool) trimIdleLocked() {
 	for p.maxIdle > 0 && p.idleConns > p.maxIdle && p.evictOldestLocked() {
 	}
 }
 
-// Put gives back a connection on which nothing is out any more.
+// Put returns a connection on which no request is in flight.
 func (p *Pool) Put(c *Conn) { p.putAfterResponse(c, time.Now()) }
 
-// put does so with the instant of the last answer that may be followed by a second one.
+// putAfterResponse returns a connection with the time from which its reuse delay runs.
 func (p *Pool) putAfterResponse(c *Conn, answered time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.lastResponse, c.idleSince = answered, time.Now()
+	c.lastResponse = answered
+	c.idleSince = time.Now()
 	p.insertIdleLocked(c)
 }
 
-// back puts back a connection that was not used. It has been idle all the while: the endpoint counts from its last use.
+// putUnused returns a connection that was not used. Its idle time goes on: the endpoint counts from its last use.
 func (p *Pool) putUnused(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -285,7 +289,7 @@
 	p.insertIdleLocked(c)
 }
 
-// keepLocked keeps an idle connection, in the order in which they were last used.
+// insertIdleLocked keeps an idle connection, in the order in which they were last used.
 func (p *Pool) insertIdleLocked(c *Conn) {
 	if c.target.dropped || p.discardIdle {
 		p.closeLocked(c)
@@ -313,7 +317,7 @@
 	p.openConns--
 }
 
-// popLocked takes an idle connection out.
+// removeIdleLocked removes an idle connection from its target.
 func (p *Pool) removeIdleLocked(to *Target, i int) *Conn {
 	c := to.idle[i]
 	p.idleConns--
@@ -323,7 +327,7 @@
 	return c
 }
 
-// evictLocked closes the connection that has been idle for longest.
+// evictOldestLocked closes the connection that has been idle for longest.
 func (p *Pool) evictOldestLocked() bool {
 	var oldest *Target
 	for to := range p.idleTargets {
@@ -338,7 +342,7 @@
 	return true
 }
 
-// Drop ends the use of a target. What is out there goes on.
+// Drop ends the use of a target. Attempts in flight go on.
 func (to *Target) Drop() {
 	p := to.pool
 	p.mu.Lock()
@@ -375,7 +379,7 @@
 	}
 }
 
-// SetKeepIdle says whether connections that are not in use are kept. Another process may need the descriptors.
+// SetKeepIdle sets whether idle connections are kept or closed. Another process may need the descriptors.
 func (p *Pool) SetKeepIdle(keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -385,7 +389,7 @@
 	}
 }
 
-// Run sweeps until ctx ends, and then closes what is idle.
+// Run sweeps idle connections until ctx ends, and then closes them all.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
@@ -400,7 +404,7 @@
 	}
 }
 
-// alive looks, without waiting, whether the endpoint has closed an idle connection or sent something on it
+// isAlive checks, without waiting, whether the endpoint has closed an idle connection or sent something on it
 // unasked. A request written to such a connection would be lost and might have run.
 func (c *Conn) isAlive() bool {
 	sc, ok := c.Conn.(syscall.Conn)
--- /dev/null
+++ b/internal/upstream/request.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"cmp"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunlinsail/internal/http1msg"
+)
+
+// Request is an HTTP/1.1 request of any form, as it is forwarded to an endpoint. It may be sent in several attempts,
+// unless its body streams.
+type Request struct {
+	Method, URI, Host string
+	Header            http.Header    // end-to-end headers
+	Body              []byte         // complete, or what is buffered of one that streams
+	Trailer           http.Header    // of a complete body that came in chunks
+	ExplicitLength    bool           // Content-Length is sent even without a body
+	Stream            *RequestStream // the rest of the body; nil is none
+	Policy            *ResponsePolicy
+	ResponseTimeout   time.Duration // after the last byte of a streaming body; 0 is that of Policy
+}
+
+// responseTimeout is how long the response is waited for once a streaming body has been sent.
+func (q *Request) responseTimeout() time.Duration {
+	return cmp.Or(q.ResponseTimeout, q.Policy.ResponseTimeout)
+}
+
+// encode returns the head and what is buffered of the body, which are written in one piece.
+func (q *Request) encode(leftMs int64) []byte {
+	m := BufferedRequest{Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
+	b := m.encodeHead(q.Policy.DeadlineHeader, leftMs)
+	s := q.Stream
+	switch {
+	case s != nil && s.Length >= 0:
+		b.WriteString("Content-Length: " + strconv.FormatInt(s.Length, 10) + "\r\n\r\n")
+		b.Write(q.Body)
+	case s != nil || len(q.Trailer) > 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if len(q.Body) > 0 {
+			b.Write(http1msg.AppendChunkHeader(nil, len(q.Body)))
+			b.Write(q.Body)
+			b.WriteString("\r\n")
+		}
+		if s == nil {
+			b.Write(http1msg.AppendLastChunk(nil, q.Trailer))
+		}
+	default:
+		if len(q.Body) > 0 || q.ExplicitLength {
+			b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
+		}
+		b.WriteString("\r\n")
+		b.Write(q.Body)
+	}
+	return b.Bytes()
+}
+
+// streamBufferSize is the size in bytes of the buffer of one direction of a stream.
+const streamBufferSize = 16 << 10
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamBufferSize]byte) }}
+
+// ErrRequestBodyTooLong means that a request body is larger than RequestStream.MaxBytes.
+var ErrRequestBodyTooLong = errors.New("the body is larger than it may be")
+
+// RequestStream is a request body that is forwarded as it arrives. The first attempt that claims it owns it for good: it
+// cannot be sent again.
+type RequestStream struct {
+	Body     *http1msg.Body
+	Length   int64 // of the complete body, Request.Body included; -1 is unknown
+	MaxBytes int64 // that may follow Request.Body; -1 is no bound
+	// BeforeRead is called before each read, to set its deadline.
+	BeforeRead func()
+	// Abort ends a read that waits for the client.
+	Abort func()
+
+	claimed atomic.Bool
+	aborted atomic.Bool
+	done    chan struct{} // closed once nothing reads Body any more, if it was claimed
+	err     error         // what ended reading, but for io.EOF; set before done is closed
+}
+
+// NewRequestStream returns a stream of a body of length bytes (-1: unknown). beforeRead is called before each read, and
+// abort ends a read that waits for the client.
+func NewRequestStream(b *http1msg.Body, length int64, beforeRead, abort func()) *RequestStream {
+	return &RequestStream{
+		Body:       b,
+		Length:     length,
+		MaxBytes:   -1,
+		BeforeRead: beforeRead,
+		Abort:      abort,
+		done:       make(chan struct{}),
+	}
+}
+
+// Claimed reports whether the body has been claimed.
+func (s *RequestStream) Claimed() bool { return s.claimed.Load() }
+
+// Claim claims the body, for an attempt or so that no attempt can, and reports whether this call did.
+func (s *RequestStream) Claim() bool { return s.claimed.CompareAndSwap(false, true) }
+
+// Done returns a channel that is closed once a claimed body is not read any more.
+func (s *RequestStream) Done() <-chan struct{} { return s.done }
+
+// Err returns the error that ended reading from the client. It is valid once Done is closed; nil is the end of the body,
+// or that no more of it was needed.
+func (s *RequestStream) Err() error { return s.err }
+
+// finish waits until nothing reads from the client any more.
+func (s *RequestStream) finish(e *exchange) {
+	if e.bodyWritten != nil {
+		select {
+		case <-e.bodyWritten:
+		default:
+			s.aborted.Store(true)
+			e.conn.SetWriteDeadline(time.Unix(1, 0))
+			s.Abort()
+			<-e.bodyWritten
+			s.err = nil // it was we who ended it
+		}
+	}
+	close(s.done)
+}
+
+// clientFailed reports whether the client ended the body early.
+func (s *RequestStream) clientFailed(writing chan struct{}) bool {
+	select {
+	case <-writing:
+		return s.err != nil
+	default:
+		return false
+	}
+}
