--- a/internal/simulation/events.go
+++ b/internal/simulation/events.go
@@ -64,6 +64,7 @@
 	return nil
 }
 
+// handle handles an event, or puts it off to when the instance that handles it is no longer frozen.
 func (r *run) handle(e *event) {
 	if in := handlingInstance(e); in != nil && in.frozenUntil > r.now && !in.down {
 		if e.kind == instanceWakeup {
@@ -72,6 +73,11 @@
 		r.events.push(in.frozenUntil, e.kind, e.index, e.target)
 		return
 	}
+	r.dispatch(e)
+}
+
+// dispatch calls the handler of an event.
+func (r *run) dispatch(e *event) {
 	switch e.kind {
 	case operationArrives:
 		r.startOperation(r.instances[e.index])
--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -132,6 +132,20 @@
 	if in.connTable, err = connlimit.New[*clientConn](r.settings.Clients, nil); err != nil {
 		return err
 	}
+	if err := in.createClients(); err != nil {
+		return err
+	}
+	in.inFlight = nil
+	in.hasEndpointList = false
+	in.idleUpstream = map[int][]idleConn{}
+	in.upstreamConns = 0
+	in.leavingSince = map[int]monotime.Micros{}
+	return nil
+}
+
+// createClients registers the instance's client processes with its engine and its connection table.
+func (in *instance) createClients() error {
+	r := in.run
 	in.clients = nil
 	in.owners = nil
 	in.idleClientConns = nil
@@ -146,11 +160,6 @@
 		in.owners = append(in.owners, in.connTable.NewOwner(spec.Weight, math.MaxInt, 0))
 		in.idleClientConns = append(in.idleClientConns, nil)
 	}
-	in.inFlight = nil
-	in.hasEndpointList = false
-	in.idleUpstream = map[int][]idleConn{}
-	in.upstreamConns = 0
-	in.leavingSince = map[int]monotime.Micros{}
 	return nil
 }
 
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -183,15 +183,7 @@
 	}
 	m.operations++
 	m.outcomes[s.Outcome]++
-	if s.Tenant >= 0 {
-		if m.tenantDemand == nil {
-			m.tenantDemand = map[int][]int{}
-		}
-		if m.tenantDemand[s.Tenant] == nil {
-			m.tenantDemand[s.Tenant] = make([]int, len(m.seconds))
-		}
-		m.tenantDemand[s.Tenant][min(s.StartedAt/second, int64(len(m.seconds)-1))]++
-	}
+	m.countDemand(s)
 	m.priorityAudit.operationEnded(s, weight, onTime)
 	m.total.add(weight, earned)
 	m.classes[s.Class].add(weight, earned)
@@ -210,6 +202,31 @@
 	}
 	m.seconds[min(s.StartedAt/second, int64(len(m.seconds)-1))].add(weight, earned)
 	b := &m.bins[min(s.StartedAt/m.binWidth, int64(len(m.bins)-1))]
+	b.operationEnded(s, zone, onTime, weight, earned)
+	m.requests.refused += int64(s.Rejected)
+	m.requests.failed += int64(s.Failed)
+	m.requests.lost += int64(s.Unanswered)
+	m.Costs.OfferedWork += float64(s.Work)
+	m.addToDigest(s)
+}
+
+// countDemand counts an operation of a tenant in the second in which it began.
+func (m *Meter) countDemand(s *simclient.Operation) {
+	if s.Tenant < 0 {
+		return
+	}
+	if m.tenantDemand == nil {
+		m.tenantDemand = map[int][]int{}
+	}
+	if m.tenantDemand[s.Tenant] == nil {
+		m.tenantDemand[s.Tenant] = make([]int, len(m.seconds))
+	}
+	m.tenantDemand[s.Tenant][min(s.StartedAt/second, int64(len(m.seconds)-1))]++
+}
+
+// operationEnded adds a finished operation to the bin in which it began.
+func (b *bin) operationEnded(s *simclient.Operation, zone int, onTime bool, weight, earned float64) {
+	took := s.EndedAt - s.StartedAt
 	b.add(weight, earned)
 	b.classes[s.Class].add(weight, earned)
 	if zone >= 0 && zone < len(b.zones) {
@@ -230,10 +247,10 @@
 	}
 	b.rejectedRequests += int64(s.Rejected)
 	b.failedRequests += int64(s.Failed + s.Unanswered)
-	m.requests.refused += int64(s.Rejected)
-	m.requests.failed += int64(s.Failed)
-	m.requests.lost += int64(s.Unanswered)
-	m.Costs.OfferedWork += float64(s.Work)
+}
+
+// addToDigest adds what became of an operation to the run's digest.
+func (m *Meter) addToDigest(s *simclient.Operation) {
 	var text [64]byte
 	for i, v := range [...]uint64{s.ID, uint64(s.Outcome), uint64(s.EndedAt), uint64(s.Requests),
 		uint64(s.Executions), uint64(s.Effects), uint64(s.Rejected), uint64(s.Failed)} {
--- a/internal/simulation/measure/result.go
+++ b/internal/simulation/measure/result.go
@@ -79,6 +79,33 @@
 	n := math.Max(1, float64(m.operations))
 	f["whole"] = m.total.share()
 	f["worst_window"] = m.worstWindowShare()
+	all := m.classFigures(r)
+	f["modest"], f["p99_modest"] = m.modestClients()
+	f["p50"] = quantileMS(all, 50)
+	f["p90"] = quantileMS(all, 90)
+	f["p99"] = quantileMS(all, 99)
+	f["p999"] = quantileMS(all, 99.9)
+	m.requestFigures(f)
+	m.arrivals.figures(f, m.seconds)
+	m.priorityAudit.figures(f, m.total.earned)
+	m.quotaSpending.figures(f, &m.criteria, m.tenantDemand)
+	f["words"] = float64(c.FleetMessages) / n
+	f["work_sent"] = 0
+	f["work_left"] = 0
+	f["work_took"] = 0
+	for name, v := range m.maintenance {
+		f[name] = v
+	}
+	f["breaks"] = float64(c.Collapses + c.AttemptsAfterDrain + c.DuplicateEffects + c.LateResponses)
+	f["service"] = m.service(f)
+	r.Series = m.series()
+	r.Seconds = m.arrivals.seconds
+	return r
+}
+
+// classFigures adds the figures of each class and tenant, and returns the latencies of all classes together.
+func (m *Meter) classFigures(r *Result) *hdrhistogram.Histogram {
+	f := r.Figures
 	f["worst_class"] = 1
 	f["worst_tenant"] = 1
 	all := hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 3)
@@ -99,11 +126,13 @@
 		f["worst_tenant"] = min(f["worst_tenant"], m.tenants[i].share())
 		f["service."+m.criteria.Tenants[i].Name] = m.tenants[i].share()
 	}
-	f["modest"], f["p99_modest"] = m.modestClients()
-	f["p50"] = quantileMS(all, 50)
-	f["p90"] = quantileMS(all, 90)
-	f["p99"] = quantileMS(all, 99)
-	f["p999"] = quantileMS(all, 99.9)
+	return all
+}
+
+// requestFigures adds what clients and instances sent for an operation, and what came of it.
+func (m *Meter) requestFigures(f map[string]float64) {
+	c := &m.Costs
+	n := math.Max(1, float64(m.operations))
 	f["served"] = float64(m.outcomes[simclient.Served]) / n
 	f["unserved"] = float64(m.outcomes[simclient.Unserved]) / n
 	f["tries"] = float64(c.ClientRequests) / n
@@ -116,30 +145,20 @@
 	f["dials"] = float64(c.Dials) / n
 	f["waste"] = max(0, c.ExecutedWork-c.UsefulWork) / math.Max(1, c.OfferedWork)
 	f["late_fail"] = m.lateFailures / math.Max(1e-9, m.total.offered)
-	m.arrivals.figures(f, m.seconds)
-	m.priorityAudit.figures(f, m.total.earned)
-	m.quotaSpending.figures(f, &m.criteria, m.tenantDemand)
-	f["words"] = float64(c.FleetMessages) / n
-	f["work_sent"] = 0
-	f["work_left"] = 0
-	f["work_took"] = 0
-	for name, v := range m.maintenance {
-		f[name] = v
-	}
-	f["breaks"] = float64(c.Collapses + c.AttemptsAfterDrain + c.DuplicateEffects + c.LateResponses)
+}
+
+// service is the figure that a run is judged by: the goal's mix of the shares served, less the prices.
+func (m *Meter) service(f map[string]float64) float64 {
 	g := &m.criteria.Goal
 	p := &m.criteria.Prices
 	weights := g.Overall + g.WorstWindow + g.WorstClass + g.WorstTenant
-	if weights <= 0 {
-		f["service"] = f["whole"]
-	} else {
-		f["service"] = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] +
+	service := f["whole"]
+	if weights > 0 {
+		service = (g.Overall*f["whole"] + g.WorstWindow*f["worst_window"] + g.WorstClass*f["worst_class"] +
 			g.WorstTenant*f["worst_tenant"]) / weights
 	}
-	f["service"] -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
-	r.Series = m.series()
-	r.Seconds = m.arrivals.seconds
-	return r
+	service -= p.Waste*f["waste"] + p.LateFail*f["late_fail"] + p.CrossZone*f["cross_zone"] + p.Probe*f["probes"]
+	return service
 }
 
 // modestFactor is how many times as much as the median client of its instance one may ask for and still be modest.
--- a/internal/simulation/plannedevents.go
+++ b/internal/simulation/plannedevents.go
@@ -77,12 +77,7 @@
 	case "silent":
 		r.discovery.silent = true
 	case "restart":
-		for _, n := range h.Instances {
-			r.killInstance(r.instances[n])
-			if h.Until == math.MaxInt64 {
-				r.events.push(r.now+second, instanceRestarts, 0, r.instances[n])
-			}
-		}
+		r.restartInstances(h)
 	case "limits":
 		r.scaleTenantLimits(h, h.Sizes[0])
 	case "upgrade":
@@ -100,15 +95,30 @@
 	case "sever":
 		r.blockingEvents = append(r.blockingEvents, i)
 	case "power":
-		for n := range r.endpoints {
-			r.killEndpoint(n, false)
-		}
-		for _, in := range r.instances {
-			r.killInstance(in)
+		r.killAll()
+	}
+}
+
+// restartInstances kills the event's instances. Without an end of the event they start again after a second.
+func (r *run) restartInstances(h *scenario.PlannedEvent) {
+	for _, n := range h.Instances {
+		r.killInstance(r.instances[n])
+		if h.Until == math.MaxInt64 {
+			r.events.push(r.now+second, instanceRestarts, 0, r.instances[n])
 		}
 	}
 }
 
+// killAll kills all endpoints and instances, as a power cut does.
+func (r *run) killAll() {
+	for n := range r.endpoints {
+		r.killEndpoint(n, false)
+	}
+	for _, in := range r.instances {
+		r.killInstance(in)
+	}
+}
+
 func (r *run) killEndpoint(n int, silent bool) {
 	e := r.endpoints[n]
 	if !e.model.Up() {
--- a/internal/simulation/scenario/check.go
+++ b/internal/simulation/scenario/check.go
@@ -167,6 +167,20 @@
 	k.Require(len(e.Part) == 0 || e.Count == 0, at("count"), "either a part or a count")
 	k.Require(e.Count >= 0, at("count"), "%d is negative", e.Count)
 	k.Require((len(e.Size) > 0) == (kind.size != ""), at("size"), "%q takes %s", e.What, sizeText(kind.size))
+	checkEventSize(k, e, at)
+	k.Require(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
+	k.Require(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
+	k.Require(!e.One || e.What == "surge", at("one"), "is for surge only")
+	k.Require(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" ||
+		e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
+	k.Require(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
+	k.Require(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
+	k.Require(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil,
+		at("for"), "is missing")
+}
+
+// checkEventSize checks the size of an event, whose bounds differ from kind to kind, and the zones of a cut.
+func checkEventSize(k *stricttoml.Validation, e *Event, at func(key string) string) {
 	switch e.What {
 	case "slow", "lies":
 		checkRange(k, at("size"), e.Size, 1, 1000)
@@ -182,15 +196,6 @@
 		k.Require(e.Zone != "", at("zone"), "is missing: which zone is cut off")
 		k.Require(e.To != e.Zone, at("to"), "a zone cannot be cut off from itself")
 	}
-	k.Require(e.Class == "" || e.What == "errors" || e.What == "surge", at("class"), "is for errors and surge only")
-	k.Require(e.Tenant == "" || e.What == "surge", at("tenant"), "is for surge only")
-	k.Require(!e.One || e.What == "surge", at("one"), "is for surge only")
-	k.Require(e.Every.Duration == 0 || e.What == "neighbour" || e.What == "rolling" || e.What == "pause" ||
-		e.What == "freeze" || e.What == "part", at("every"), "is for neighbour, pause, rolling, freeze and part only")
-	k.Require(e.What != "rolling" || e.Every.Duration > 0, at("every"), "is missing: the time from one to the next")
-	k.Require(e.What != "pause" || e.For != nil, at("for"), "is missing: how long it stops")
-	k.Require(e.What != "stale" && e.What != "silent" && e.What != "freeze" && e.What != "deaf" || e.For != nil,
-		at("for"), "is missing")
 }
 
 func sizeText(size string) string {
--- a/internal/simulation/simendpoint/endpoint.go
+++ b/internal/simulation/simendpoint/endpoint.go
@@ -230,7 +230,7 @@
 	return Accepted
 }
 
-// recordOffered counts what is sent to a endpoint that is warming up, which falls over when that is too much for too
+// recordOffered counts what is sent to an endpoint that is warming up, which falls over when that is too much for too
 // long.
 func (n *Endpoint) recordOffered(now monotime.Micros, j *Job) {
 	warmth := n.WarmupShare(now)
