Name http1's bounds of buffered bytes after what they bound

MaxBytes and BufferBytes read as a size of a buffer. Type-aware rename; the comment of Object no longer claims a use that it has not.

--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -53,9 +53,9 @@
 
 func spec(name string, b *config.ClientLimits) http1.ClientSettings {
 	return http1.ClientSettings{
-		ClientSpec:     b.Share(name),
-		MaxConnections: b.MaxConnections,
-		MaxBytes:       b.MaxBytesHeld.Bytes,
+		ClientSpec:       b.Share(name),
+		MaxConnections:   b.MaxConnections,
+		MaxBufferedBytes: b.MaxBytesHeld.Bytes,
 	}
 }
 
--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -52,17 +52,17 @@
 	routes := make([]Route, len(s.options.Site.Classes))
 	for i, name := range s.options.Site.Classes {
 		routes[i] = Route{
-			Name:           name,
-			Pool:           s.options.Pool,
-			SafeClass:      uint8(i),
-			UnsafeClass:    uint8(i),
-			SafePolicy:     policy,
-			UnsafePolicy:   policy,
-			BufferBytes:    classBodyBuffer,
-			MaxBodyBytes:   maxClassBody,
-			StreamTimeout:  classStreamTimeout,
-			IdempotencyKey: ValueSource{Kind: FromHeader, Name: "Idempotency-Key"},
-			Object:         ValueSource{Kind: FromHeader, Name: "X-Object"},
+			Name:             name,
+			Pool:             s.options.Pool,
+			SafeClass:        uint8(i),
+			UnsafeClass:      uint8(i),
+			SafePolicy:       policy,
+			UnsafePolicy:     policy,
+			MaxBufferedBytes: classBodyBuffer,
+			MaxBodyBytes:     maxClassBody,
+			StreamTimeout:    classStreamTimeout,
+			IdempotencyKey:   ValueSource{Kind: FromHeader, Name: "Idempotency-Key"},
+			Object:           ValueSource{Kind: FromHeader, Name: "X-Object"},
 		}
 	}
 	return routes
--- a/internal/frontend/http1/clients.go
+++ b/internal/frontend/http1/clients.go
@@ -16,8 +16,8 @@
 // ClientSettings are the limits of a client. A limit of 0 is none of its own.
 type ClientSettings struct {
 	fairqueue.ClientSpec
-	MaxConnections int
-	MaxBytes       int64 // buffered for its requests and their responses
+	MaxConnections   int
+	MaxBufferedBytes int64 // buffered for its requests and their responses
 }
 
 // NewClient returns a client, or an error if the settings are invalid.
@@ -29,7 +29,7 @@
 	c := &Client{Name: settings.Name, engineClient: engineClient}
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
-	c.connOwner = s.conns.table.NewOwner(settings.Weight, s.maxConnections(settings), settings.MaxBytes)
+	c.connOwner = s.conns.table.NewOwner(settings.Weight, s.maxConnections(settings), settings.MaxBufferedBytes)
 	return c, nil
 }
 
@@ -40,7 +40,7 @@
 	}
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
-	s.conns.table.UpdateOwner(c.connOwner, settings.Weight, s.maxConnections(settings), settings.MaxBytes)
+	s.conns.table.UpdateOwner(c.connOwner, settings.Weight, s.maxConnections(settings), settings.MaxBufferedBytes)
 	return nil
 }
 
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -44,12 +44,12 @@
 	switch {
 	case framing.Kind == http1msg.NoBody:
 		return 0
-	case framing.Kind == http1msg.FixedLength && framing.Length <= rt.BufferBytes:
+	case framing.Kind == http1msg.FixedLength && framing.Length <= rt.MaxBufferedBytes:
 		return framing.Length
 	case framing.Kind == http1msg.FixedLength:
 		return 0
 	}
-	return rt.BufferBytes
+	return rt.MaxBufferedBytes
 }
 
 func (rt *Route) bodyTooLarge() error {
@@ -72,7 +72,7 @@
 	if framing.Kind == http1msg.FixedLength {
 		length = framing.Length
 	}
-	if length < 0 || length <= rt.BufferBytes {
+	if length < 0 || length <= rt.MaxBufferedBytes {
 		complete, err := x.readBuffered(rt, out, body, framing, length)
 		if complete || err != nil {
 			return err
@@ -107,7 +107,7 @@
 		deadline = time.Now().Add(bodyBufferTimeout)
 	}
 	x.conn.SetReadDeadline(deadline)
-	out.Body, err = readUpTo(body, length, rt.BufferBytes)
+	out.Body, err = readUpTo(body, length, rt.MaxBufferedBytes)
 	if err == io.EOF {
 		out.Trailer = body.Trailer()
 		if rt.MaxBodyBytes > 0 && int64(len(out.Body)) > rt.MaxBodyBytes {
--- a/internal/frontend/http1/routes.go
+++ b/internal/frontend/http1/routes.go
@@ -34,15 +34,15 @@
 	UnsafePolicy *upstream.ResponsePolicy // how responses to requests of UnsafeClass are handled
 
 	Tenant         ValueSource
-	Object         ValueSource // what the request is about, for routing by object
+	Object         ValueSource // what the request is about; recorded, no decision reads it
 	IdempotencyKey ValueSource // required for classes with an idempotency key; forwarded in its header
 	RequestID      ValueSource // generated if missing; a second request with the ID of an open one is rejected
 	Deadline       ValueSource // milliseconds that are left; the class's client timeout is an upper bound
 
-	MaxAttempts   int           // 0 is as many as the instance allows
-	MaxBodyBytes  int64         // requests with larger bodies are rejected; 0 is no bound
-	BufferBytes   int64         // larger request bodies are streamed
-	StreamTimeout time.Duration // for a streamed body and the start of its response
+	MaxAttempts      int           // 0 is as many as the instance allows
+	MaxBodyBytes     int64         // requests with larger bodies are rejected; 0 is no bound
+	MaxBufferedBytes int64         // larger request bodies are streamed
+	StreamTimeout    time.Duration // for a streamed body and the start of its response
 
 	HostOverride string // replaces the request's host; "" keeps it
 	StripPrefix  string // of the path, in complete segments; each matching path has it
