--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -1,6 +1,6 @@
-// Package endpoint is a stand-in for the servers that requests are balanced over: HTTP/1.1 on loopback, with
-// cores that requests queue for, a warm-up, draining and faults on demand, and a record of all that ran. It
-// speaks what PROTOCOL says an endpoint speaks and knows nothing of the program under test.
+// Package endpoint is a fake of the servers that requests are balanced over: HTTP/1.1 on loopback, with cores that
+// requests queue for, a warm-up, draining, injected faults and a ledger of the requests that ran. It follows PROTOCOL's
+// part of an endpoint and must not import the program under test.
 package endpoint
 
 import (
@@ -15,99 +15,58 @@
 	"time"
 )
 
-// Options say how an endpoint behaves. The zero value answers at once.
+// Options configure an endpoint. With the zero value it responds at once.
 type Options struct {
 	Name string
 
-	// Work is how long a core is busy with a request of a class, the first part of the path; the entry "" is
-	// for classes that have none. Each request's is drawn from Work*(1±Spread).
+	// ServiceTime is how long a core is busy with a request of a class (the first segment of the path); the entry "" is
+	// for the other classes. Each request's is drawn uniformly from ServiceTime*(1±Spread).
 	ServiceTime map[string]time.Duration
 	Spread      float64
-	Cores       int // requests worked at side by side; 0 is no bound
-	QueueLimit  int // requests that wait for a core; beyond it 503 with X-Never-Ran; 0 is no bound
+	Cores       int // requests processed concurrently; 0 is no bound
+	QueueLimit  int // requests waiting for a core; more get 503 with X-Never-Ran; 0 is no bound
 
-	// ColdFrom is the share of its speed that a started endpoint has at first; it is warm after Warm.
+	// WarmupStartSpeed is the fraction of its full speed at which an endpoint starts; it is warm after WarmupTime.
 	WarmupStartSpeed float64
 	WarmupTime       time.Duration
 
-	// Keyed is how long the endpoint remembers an Idempotency-Key and drops its repeats.
-	IdempotencyWindow time.Duration
-	Ledger            *Ledger // where what ran is written down; nil is nowhere
-	MinResponseSize   int     // bytes of an answer, at least
+	IdempotencyWindow time.Duration // how long an Idempotency-Key is remembered
+	Ledger            *Ledger       // records the requests that run; may be nil
+	MinResponseSize   int           // bytes of a response's body, at least
 }
 
-// Run is one request that reached an endpoint.
-type Run struct {
-	Endpoint       string
-	Class          string
-	TraceID        string // X-Trace-Id
-	IdempotencyKey string // Idempotency-Key
-	StartedAt      time.Time
-	TookEffect     bool // it took effect: it was no repeat that the endpoint knew
-}
-
-// Ledger records what ran at endpoints that share it: a group that drops repeats of a key.
-type Ledger struct {
-	mu          sync.Mutex
-	runs        []Run
-	lastEffects map[string]time.Time // keys, by when they last took effect
-}
-
-// Runs returns what has run so far, in the order it began.
-func (l *Ledger) Runs() []Run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]Run(nil), l.runs...)
-}
-
-func (l *Ledger) add(r Run, window time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if r.IdempotencyKey != "" && window > 0 {
-		if l.lastEffects == nil {
-			l.lastEffects = map[string]time.Time{}
-		}
-		if at, ok := l.lastEffects[r.IdempotencyKey]; ok && r.StartedAt.Sub(at) < window {
-			r.TookEffect = false
-		} else {
-			l.lastEffects[r.IdempotencyKey] = r.StartedAt
-		}
-	}
-	l.runs = append(l.runs, r)
-}
-
-// Server is a running endpoint.
+// Server is a running endpoint. Its methods are safe for concurrent use.
 type Server struct {
-	Addr string
+	Addr string // host and port
 
-	options Options
-	cores   chan struct{}
-	started time.Time
-	http    *http.Server
-	done    chan struct{}
+	options   Options
+	cores     chan struct{} // a token for each busy core; nil without a bound
+	startedAt time.Time
+	http      *http.Server
+	done      chan struct{}
 
 	mu       sync.Mutex
-	waiting  int
-	working  int
+	queued   int // requests waiting for a core
+	running  int
 	served   int
-	probed   int
+	probes   int
 	draining bool
 	fault    func(*http.Request) Fault
 }
 
-// Fault is what goes wrong with a request.
+// Fault is an injected failure of a request.
 type Fault uint8
 
 // The faults.
 const (
 	NoFault         Fault = iota
 	InternalError         // 500
-	NoResponse            // no answer, until the client leaves
-	ConnectionReset       // the connection is reset, after the request was taken
-	Conflict              // 409: it ran, and what it asked for cannot be
+	NoResponse            // none until the client leaves
+	ConnectionReset       // the connection is reset after the request ran
+	Conflict              // 409, from the application: the request ran, and what it asks for is impossible
 )
 
-// Start starts an endpoint on a free port of loopback.
+// Start starts an endpoint on a free loopback port.
 func Start(options Options) (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,7 +77,12 @@
 
 // Serve starts an endpoint on a listener.
 func Serve(ln net.Listener, options Options) *Server {
-	s := &Server{Addr: ln.Addr().String(), options: options, started: time.Now(), done: make(chan struct{})}
+	s := &Server{
+		Addr:      ln.Addr().String(),
+		options:   options,
+		startedAt: time.Now(),
+		done:      make(chan struct{}),
+	}
 	if options.Cores > 0 {
 		s.cores = make(chan struct{}, options.Cores)
 	}
@@ -130,20 +94,20 @@
 	return s
 }
 
-// Close ends the endpoint at once, as a process that dies: its connections are reset.
+// Close stops the endpoint at once, as a process that dies: its connections are reset.
 func (s *Server) Close() {
 	s.http.Close()
 	<-s.done
 }
 
-// SetDraining says whether the endpoint is draining: it finishes what it has and turns new requests away.
-func (s *Server) SetDraining(on bool) {
+// SetDraining starts or ends draining: the endpoint finishes the requests that it has and rejects new ones.
+func (s *Server) SetDraining(draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = on
+	s.draining = draining
 }
 
-// SetFaults sets what goes wrong from now on; nil is nothing.
+// SetFaults injects the fault that f returns for each request from now on; nil injects none.
 func (s *Server) SetFaults(f func(*http.Request) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,35 +115,37 @@
 }
 
 // Started returns when the endpoint started.
-func (s *Server) Started() time.Time { return s.started }
+func (s *Server) Started() time.Time { return s.startedAt }
 
-// Load returns how many requests are being worked at and waiting.
-func (s *Server) Load() (working, waiting int) {
+// Load returns how many requests are running and how many wait for a core.
+func (s *Server) Load() (running, queued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.working, s.waiting
+	return s.running, s.queued
 }
 
-// ServeHTTP answers a request.
+// ServeHTTP responds to a probe or runs a request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/-/healthy", "/-/load":
-		s.mu.Lock()
-		s.probed++
-		text := fmt.Sprintf("TEXT inflight=%d, queue=%d", s.working+s.waiting, s.waiting)
-		s.mu.Unlock()
-		_, _ = io.WriteString(w, text) // a client that has gone needs none
+		s.serveProbe(w)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return // it has not come whole, so it has not run
+		return // an incomplete request doesn't run
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	run := Run{Endpoint: s.options.Name, Class: class, TraceID: r.Header.Get("X-Trace-Id"), IdempotencyKey: r.Header.Get("Idempotency-Key"),
-		StartedAt: time.Now(), TookEffect: true}
-	fault, turnedAway := s.admit(r)
-	if turnedAway {
+	run := Run{
+		Endpoint:       s.options.Name,
+		Class:          class,
+		TraceID:        r.Header.Get("X-Trace-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		StartedAt:      time.Now(),
+		TookEffect:     true,
+	}
+	fault, admitted := s.admit(r)
+	if !admitted {
 		w.Header().Set("X-Never-Ran", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -187,10 +153,10 @@
 	if s.options.Ledger != nil {
 		s.options.Ledger.add(run, s.options.IdempotencyWindow)
 	}
-	ran := s.runOnCore(r.Context(), class)
+	completed := s.runOnCore(r.Context(), class)
 	s.finish()
 	switch {
-	case !ran || fault == ConnectionReset:
+	case !completed || fault == ConnectionReset:
 		panic(http.ErrAbortHandler)
 	case fault == NoResponse:
 		<-r.Context().Done()
@@ -199,58 +165,69 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	// The answer tells whose it is, so that a client can see that it got its own.
-	answer := run.TraceID + " " + s.options.Name + " " + fmt.Sprint(len(body)) + "\n"
-	if more := s.options.MinResponseSize - len(answer); more > 0 {
-		answer += strings.Repeat(".", more)
-	}
 	w.Header().Set("Content-Type", "text/plain")
 	if fault == Conflict {
 		w.WriteHeader(http.StatusConflict)
 	}
-	_, _ = io.WriteString(w, answer) // a client that has gone needs none
+	_, _ = io.WriteString(w, s.responseBody(run.TraceID, len(body))) // a client that has left needs no response
+}
+
+// serveProbe responds to a health check with a load report.
+func (s *Server) serveProbe(w io.Writer) {
+	s.mu.Lock()
+	s.probes++
+	report := fmt.Sprintf("TEXT inflight=%d, queue=%d", s.running+s.queued, s.queued)
+	s.mu.Unlock()
+	_, _ = io.WriteString(w, report) // a client that has left needs no response
+}
+
+// responseBody names the request, by which a client recognizes the response to its own request.
+func (s *Server) responseBody(traceID string, requestSize int) string {
+	text := traceID + " " + s.options.Name + " " + fmt.Sprint(requestSize) + "\n"
+	if padding := s.options.MinResponseSize - len(text); padding > 0 {
+		text += strings.Repeat(".", padding)
+	}
+	return text
 }
 
-func (s *Server) admit(r *http.Request) (fault Fault, turnedAway bool) {
+// admit queues a request and draws its fault, unless the endpoint is draining or its queue is full.
+func (s *Server) admit(r *http.Request) (fault Fault, admitted bool) {
 	s.mu.Lock()
-	if s.draining || s.options.QueueLimit > 0 && s.waiting >= s.options.QueueLimit {
+	if s.draining || s.options.QueueLimit > 0 && s.queued >= s.options.QueueLimit {
 		s.mu.Unlock()
-		return NoFault, true
+		return NoFault, false
 	}
-	s.waiting++
-	f := s.fault
+	s.queued++
+	faultOf := s.fault
 	s.mu.Unlock()
-	if f != nil {
-		fault = f(r) // it may wait, for its own request only
+	if faultOf != nil {
+		fault = faultOf(r) // without the lock: it may block, for its own request only
 	}
-	return fault, false
+	return fault, true
 }
 
-// work waits for a core and holds it, and says whether the client stayed to the end.
+// runOnCore waits for a core and occupies it for the service time. It reports false when the client left before the
+// end.
 func (s *Server) runOnCore(ctx context.Context, class string) bool {
 	if s.cores != nil {
 		select {
 		case s.cores <- struct{}{}:
 		case <-ctx.Done():
-			s.mu.Lock()
-			s.waiting, s.working = s.waiting-1, s.working+1
-			s.mu.Unlock()
+			s.dequeue()
 			return false
 		}
 		defer func() { <-s.cores }()
 	}
-	s.mu.Lock()
-	s.waiting, s.working = s.waiting-1, s.working+1
-	s.mu.Unlock()
-	d, ok := s.options.ServiceTime[class]
+	s.dequeue()
+	serviceTime, ok := s.options.ServiceTime[class]
 	if !ok {
-		d = s.options.ServiceTime[""]
+		serviceTime = s.options.ServiceTime[""]
 	}
-	if d <= 0 {
+	if serviceTime <= 0 {
 		return true
 	}
-	d = time.Duration(float64(d) * (1 + s.options.Spread*(2*rand.Float64()-1)) / s.speed())
-	timer := time.NewTimer(d)
+	factor := 1 + s.options.Spread*(2*rand.Float64()-1)
+	timer := time.NewTimer(time.Duration(float64(serviceTime) * factor / s.speed()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -260,30 +237,40 @@
 	}
 }
 
-// speed is the share of its full speed that the endpoint has by now.
+// speed returns the endpoint's present speed as a fraction of its full speed.
 func (s *Server) speed() float64 {
-	age := time.Since(s.started)
+	age := time.Since(s.startedAt)
 	if s.options.WarmupTime <= 0 || s.options.WarmupStartSpeed <= 0 || age >= s.options.WarmupTime {
 		return 1
 	}
-	return s.options.WarmupStartSpeed + (1-s.options.WarmupStartSpeed)*age.Seconds()/s.options.WarmupTime.Seconds()
+	start := s.options.WarmupStartSpeed
+	return start + (1-start)*age.Seconds()/s.options.WarmupTime.Seconds()
+}
+
+// dequeue counts a queued request as running.
+func (s *Server) dequeue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+	s.running++
 }
 
+// finish counts a running request as served.
 func (s *Server) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.working--
+	s.running--
 	s.served++
 }
 
-// ProbeCount returns how many probes were answered.
+// ProbeCount returns how many health checks the endpoint responded to.
 func (s *Server) ProbeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.probed
+	return s.probes
 }
 
-// ServedCount returns how many requests have been worked at to an end.
+// ServedCount returns how many requests have ended, those that their clients left included.
 func (s *Server) ServedCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
