--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	operations := rec.Stories()
+	operations := rec.Operations()
 	from, to := rec.Span()
 	fmt.Fprintf(
 		w, "%d requests, %d stories, %.0f s from %s\n", len(rec.Requests), len(operations), float64(to-from)/1e6,
@@ -70,7 +70,7 @@
 	)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "class\tstories\ttries each\tserved\tp50\tp99\tverdicts of tries")
-	byClass := map[string][]*accesslog.Story{}
+	byClass := map[string][]*accesslog.Operation{}
 	for _, s := range operations {
 		byClass[s.First().Class] = append(byClass[s.First().Class], s)
 	}
@@ -79,13 +79,13 @@
 		var took []int64
 		verdicts := map[string]int{}
 		for _, s := range byClass[class] {
-			tries += len(s.Tries)
-			for _, q := range s.Tries {
+			tries += len(s.Attempts)
+			for _, q := range s.Attempts {
 				verdicts[q.Verdict]++
 			}
 			if s.Served() {
 				served++
-				took = append(took, s.Tries[len(s.Tries)-1].End()-s.First().Arrived)
+				took = append(took, s.Attempts[len(s.Attempts)-1].End()-s.First().Arrived)
 			}
 		}
 		slices.Sort(took)
--- a/internal/accesslog/golden_test.go
+++ b/internal/accesslog/golden_test.go
@@ -21,15 +21,15 @@
 // goldenRows are the rows of goldenSegment, without their numbers, which the writer gives.
 func goldenRows() []Row {
 	return []Row{
-		{Arrived: 1_700_000_000_000_001, Took: 1002, Waited: 1003, Patience: 1004, Client: "client-a", Route: "route-a", Class: "class-a",
-			Tenant: "tenant-a", Verdict: "served", Endpoint: "node-1", Status: 200, Attempts: 1, Key: 1 << 63, Object: 77, In: -1,
-			Out: 1005},
-		{Arrived: 1_700_000_000_000_002, Took: 2002, Client: "client-b", Class: "class-a", Verdict: "refused", Status: 503, Attempts: 0,
-			Key: 3, In: 12, Out: 13, Retry: true},
-		{Arrived: 1_700_000_000_000_003, Took: 3002, Waited: 3003, Client: "client-a", Class: "class-b", Verdict: "failed",
+		{Arrived: 1_700_000_000_000_001, Duration: 1002, QueueTime: 1003, ClientTimeout: 1004, Client: "client-a", Route: "route-a", Class: "class-a",
+			Tenant: "tenant-a", Verdict: "served", Endpoint: "node-1", Status: 200, Attempts: 1, KeyHash: 1 << 63, ObjectHash: 77, BytesIn: -1,
+			BytesOut: 1005},
+		{Arrived: 1_700_000_000_000_002, Duration: 2002, Client: "client-b", Class: "class-a", Verdict: "refused", Status: 503, Attempts: 0,
+			KeyHash: 3, BytesIn: 12, BytesOut: 13, Retry: true},
+		{Arrived: 1_700_000_000_000_003, Duration: 3002, QueueTime: 3003, Client: "client-a", Class: "class-b", Verdict: "failed",
 			Endpoint: "node-2", Status: 502, Attempts: 3},
-		{Arrived: 1_700_000_000_000_004, Took: 4002, Client: "client-a", Class: "class-b", Verdict: "late", Status: 504, Attempts: 2},
-		{Arrived: 1_700_000_000_000_005, Took: 5002, Client: "client-b", Class: "class-b", Verdict: "left", Attempts: 1, Object: 9},
+		{Arrived: 1_700_000_000_000_004, Duration: 4002, Client: "client-a", Class: "class-b", Verdict: "late", Status: 504, Attempts: 2},
+		{Arrived: 1_700_000_000_000_005, Duration: 5002, Client: "client-b", Class: "class-b", Verdict: "left", Attempts: 1, ObjectHash: 9},
 	}
 }
 
--- a/internal/accesslog/record.go
+++ b/internal/accesslog/record.go
@@ -21,33 +21,33 @@
 
 // Verdicts, as rows tell them.
 const (
-	Served  = "served"
-	Refused = "refused"
-	Failed  = "failed"
-	Late    = "late" // failed, and the last attempt ran out of time
-	Left    = "left" // its client went before its answer
+	Served    = "served"
+	Rejected  = "refused"
+	Failed    = "failed"
+	TimedOut  = "late" // failed, and the last attempt ran out of time
+	Cancelled = "left" // its client went before its answer
 )
 
 // Row is one request of a client.
 type Row struct {
-	Seq      int64  `parquet:"seq,delta"`        // counts up in one run of an instance: what is missing was lost or not sampled
-	Arrived  int64  `parquet:"arrived_us,delta"` // Unix microseconds, by a clock that does not step while the instance runs
-	Took     int64  `parquet:"took_us"`          // until its answer was given, or its client left
-	Waited   int64  `parquet:"waited_us"`        // of this, for its turn
-	Patience int64  `parquet:"patience_us"`      // how long its client waits
-	Client   string `parquet:"client,dict"`      // as the instance knows it
-	Route    string `parquet:"route,dict"`       // "" without routes
-	Class    string `parquet:"class,dict"`
-	Tenant   string `parquet:"tenant,dict"`
-	Verdict  string `parquet:"verdict,dict"`
-	Endpoint string `parquet:"endpoint,dict"` // that served it; "" is none
-	Status   int32  `parquet:"status"`        // of HTTP, as the client got it; 0 where it left
-	Attempts int32  `parquet:"attempts"`
-	Key      uint64 `parquet:"key_hash"`    // 0 is none
-	Object   uint64 `parquet:"object_hash"` // 0 is none
-	In       int64  `parquet:"bytes_in"`    // of the request's body; -1 is not known
-	Out      int64  `parquet:"bytes_out"`   // of the answer's
-	Retry    bool   `parquet:"retry"`       // its client said that it is a repetition
+	Seq           int64  `parquet:"seq,delta"`        // counts up in one run of an instance: what is missing was lost or not sampled
+	Arrived       int64  `parquet:"arrived_us,delta"` // Unix microseconds, by a clock that does not step while the instance runs
+	Duration      int64  `parquet:"took_us"`          // until its answer was given, or its client left
+	QueueTime     int64  `parquet:"waited_us"`        // of this, for its turn
+	ClientTimeout int64  `parquet:"patience_us"`      // how long its client waits
+	Client        string `parquet:"client,dict"`      // as the instance knows it
+	Route         string `parquet:"route,dict"`       // "" without routes
+	Class         string `parquet:"class,dict"`
+	Tenant        string `parquet:"tenant,dict"`
+	Verdict       string `parquet:"verdict,dict"`
+	Endpoint      string `parquet:"endpoint,dict"` // that served it; "" is none
+	Status        int32  `parquet:"status"`        // of HTTP, as the client got it; 0 where it left
+	Attempts      int32  `parquet:"attempts"`
+	KeyHash       uint64 `parquet:"key_hash"`    // 0 is none
+	ObjectHash    uint64 `parquet:"object_hash"` // 0 is none
+	BytesIn       int64  `parquet:"bytes_in"`    // of the request's body; -1 is not known
+	BytesOut      int64  `parquet:"bytes_out"`   // of the answer's
+	Retry         bool   `parquet:"retry"`       // its client said that it is a repetition
 }
 
 // Hasher makes keyed hashes. Instances with the same secret make the same, so that a key can be followed from one to
@@ -55,7 +55,7 @@
 type Hasher struct{ secret []byte }
 
 // secretLeast is how many bytes a secret has at least.
-const secretLeast = 16
+const minSecretBytes = 16
 
 // NewHasher returns a hasher with a secret from a file, or the error of one that is too short.
 func NewHasher(path string) (*Hasher, error) {
@@ -64,14 +64,14 @@
 		return nil, err
 	}
 	secret := strings.TrimSpace(string(text))
-	if len(secret) < secretLeast {
-		return nil, fmt.Errorf("%s: the secret has %d bytes, at least %d are needed", path, len(secret), secretLeast)
+	if len(secret) < minSecretBytes {
+		return nil, fmt.Errorf("%s: the secret has %d bytes, at least %d are needed", path, len(secret), minSecretBytes)
 	}
-	return HasherOf([]byte(secret)), nil
+	return NewHasherFromSecret([]byte(secret)), nil
 }
 
-// HasherOf returns a hasher with a secret.
-func HasherOf(secret []byte) *Hasher { return &Hasher{secret} }
+// NewHasherFromSecret returns a hasher with a secret.
+func NewHasherFromSecret(secret []byte) *Hasher { return &Hasher{secret} }
 
 // Hash returns 64 bits of HMAC-SHA256 (RFC 2104) of a text, of a kind: the same text as a key and as an object has two
 // hashes. That of "" is 0, and of nothing else.
@@ -92,9 +92,9 @@
 	if part >= 1 {
 		return true
 	}
-	x := r.Key
+	x := r.KeyHash
 	if x == 0 {
-		x = r.Object
+		x = r.ObjectHash
 	}
 	if x == 0 {
 		x = uint64(r.Seq)*0x9e3779b97f4a7c15 ^ uint64(r.Arrived)
--- a/internal/accesslog/record_test.go
+++ b/internal/accesslog/record_test.go
@@ -66,8 +66,8 @@
 		w := writer(t, Options{Dir: dir, Instance: name, Rows: 40, Now: func() time.Time { return now }})
 		var all sync.WaitGroup
 		for k := range 100 {
-			r := Row{Arrived: now.UnixMicro() + int64(1000*(k%50)+i), Took: int64(10 * k), Client: "c", Class: "book", Verdict: Served, Status: 200, Attempts: 1, Key: uint64(1 + k + 1000*i), In: -1, Out: 5}
-			want[fmt.Sprint(name, r.Key)] = r
+			r := Row{Arrived: now.UnixMicro() + int64(1000*(k%50)+i), Duration: int64(10 * k), Client: "c", Class: "book", Verdict: Served, Status: 200, Attempts: 1, KeyHash: uint64(1 + k + 1000*i), BytesIn: -1, BytesOut: 5}
+			want[fmt.Sprint(name, r.KeyHash)] = r
 			all.Go(func() { w.Add(r) })
 		}
 		all.Wait()
@@ -80,7 +80,7 @@
 	}
 	var last int64
 	for _, q := range rec.Requests {
-		r := want[fmt.Sprint(q.Instance, q.Key)]
+		r := want[fmt.Sprint(q.Instance, q.KeyHash)]
 		r.Seq = q.Seq
 		if q.Row != r || q.Arrived < last {
 			t.Fatalf("%+v, want %+v, behind %d", q, r, last)
@@ -98,11 +98,11 @@
 }
 
 // A segment that is cut off, spoilt or of another version is told, and the rest is read; what is missing shows.
-func TestCutOff(t *testing.T) {
+func TestTruncatedSegments(t *testing.T) {
 	dir := t.TempDir()
 	w := writer(t, Options{Dir: dir, Instance: "a", Rows: 100})
 	for k := range 400 {
-		w.Add(Row{Arrived: int64(1_700_000_000_000_000 + k), Class: "look", Key: uint64(k + 1)})
+		w.Add(Row{Arrived: int64(1_700_000_000_000_000 + k), Class: "look", KeyHash: uint64(k + 1)})
 		if (k+1)%100 == 0 { // one at a time: the disk is waited for by nobody
 			for end := time.Now().Add(5 * time.Second); len(segments(t, dir)) < (k+1)/100 && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
@@ -143,7 +143,7 @@
 }
 
 // No bytes bring the reader down, whichever of a segment's are changed.
-func TestSpoiltBytes(t *testing.T) {
+func TestCorruptedSegments(t *testing.T) {
 	dir := t.TempDir()
 	w := writer(t, Options{Dir: dir, Instance: "a"})
 	for k := range 50 {
@@ -273,7 +273,7 @@
 		}
 		mu.Unlock()
 		for k := range 10 {
-			w.Add(Row{Arrived: base.UnixMicro() + int64(n)*1_000_000 - int64(10*k), Key: uint64(100*n + k + 1)})
+			w.Add(Row{Arrived: base.UnixMicro() + int64(n)*1_000_000 - int64(10*k), KeyHash: uint64(100*n + k + 1)})
 		}
 		for end := time.Now().Add(5 * time.Second); len(segments(t, dir)) <= n && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
@@ -283,7 +283,7 @@
 	right := base.Add(-90 * time.Second)
 	b := writer(t, Options{Dir: dir, Instance: "b", Now: func() time.Time { return right.Add(3 * time.Second) }})
 	for k := range 10 {
-		b.Add(Row{Arrived: right.UnixMicro() + int64(k)*300_000, Key: uint64(5000 + k)})
+		b.Add(Row{Arrived: right.UnixMicro() + int64(k)*300_000, KeyHash: uint64(5000 + k)})
 	}
 	b.Close()
 	rec := read(t, dir)
@@ -301,30 +301,30 @@
 
 // Tries belong together by their key, wherever they came to, or by client and object after one that was not served; what
 // follows a served one, or comes late, is a story of its own.
-func TestStories(t *testing.T) {
+func TestOperations(t *testing.T) {
 	rec := &Recording{}
 	const ms = 1000
 	add := func(instance, client string, key, object uint64, at, took int64, verdict string, retry bool) {
-		rec.Requests = append(rec.Requests, Request{Row{Arrived: at * ms, Took: took * ms, Client: client, Class: "c", Key: key, Object: object, Verdict: verdict, Retry: retry}, instance})
+		rec.Requests = append(rec.Requests, Request{Row{Arrived: at * ms, Duration: took * ms, Client: client, Class: "c", KeyHash: key, ObjectHash: object, Verdict: verdict, Retry: retry}, instance})
 	}
 	add("i", "a", 1, 0, 0, 10, Failed, false)      // story 1
 	add("j", "b", 1, 0, 100, 10, Served, false)    // the same key elsewhere
-	add("i", "a", 0, 7, 110, 20, Refused, false)   // story 2
+	add("i", "a", 0, 7, 110, 20, Rejected, false)  // story 2
 	add("i", "a", 0, 8, 120, 20, Served, false)    // story 3: another object
 	add("i", "b", 0, 7, 125, 20, Served, false)    // story 4: another client
-	add("i", "a", 0, 7, 200, 20, Left, false)      // 2 again
+	add("i", "a", 0, 7, 200, 20, Cancelled, false) // 2 again
 	add("i", "a", 0, 7, 300, 20, Served, false)    // and again
 	add("i", "a", 0, 7, 400, 20, Served, false)    // story 5: it was served
-	add("i", "a", 0, 8, 500, 20, Refused, false)   // story 6
+	add("i", "a", 0, 8, 500, 20, Rejected, false)  // story 6
 	add("i", "a", 0, 8, 5000, 20, Served, false)   // story 7: too late
-	add("i", "a", 0, 0, 5100, 10, Refused, false)  // story 8: no object
+	add("i", "a", 0, 0, 5100, 10, Rejected, false) // story 8: no object
 	add("i", "a", 0, 0, 5200, 10, Served, false)   // story 9
-	add("i", "a", 0, 0, 5300, 10, Refused, false)  // story 10
+	add("i", "a", 0, 0, 5300, 10, Rejected, false) // story 10
 	add("i", "a", 0, 0, 5400, 10, Served, true)    // marked: 10 again
 	add("i", "a", 1, 0, 90_000, 10, Served, false) // story 11: a key that is used anew
 	var got []int
-	for _, s := range rec.Stories() {
-		got = append(got, len(s.Tries))
+	for _, s := range rec.Operations() {
+		got = append(got, len(s.Attempts))
 	}
 	if want := []int{2, 3, 1, 1, 1, 1, 1, 1, 1, 2, 1}; !slices.Equal(got, want) {
 		t.Errorf("tries of each story %v, want %v", got, want)
@@ -365,8 +365,8 @@
 	in := 0
 	for k := range 10_000 {
 		key := a.Hash("key", fmt.Sprint(k))
-		first := Sampled(&Row{Key: key, Seq: 1}, 0.1)
-		if first != Sampled(&Row{Key: key, Seq: 99, Arrived: 5}, 0.1) {
+		first := Sampled(&Row{KeyHash: key, Seq: 1}, 0.1)
+		if first != Sampled(&Row{KeyHash: key, Seq: 99, Arrived: 5}, 0.1) {
 			t.Fatal("one try is in the sample, another is not")
 		}
 		if first {
@@ -392,11 +392,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	h := HasherOf([]byte("0123456789abcdef"))
+	h := NewHasherFromSecret([]byte("0123456789abcdef"))
 	b.ReportAllocs()
 	for k := range b.N {
-		w.Add(Row{Arrived: int64(k), Took: 1000, Client: "desk", Class: "book", Tenant: "acme", Verdict: Served, Endpoint: "s-1", Status: 200, Attempts: 1,
-			Key: h.Hash("key", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), Object: h.Hash("object", "7f3a9c21e0b4d655"), Out: 500})
+		w.Add(Row{Arrived: int64(k), Duration: 1000, Client: "desk", Class: "book", Tenant: "acme", Verdict: Served, Endpoint: "s-1", Status: 200, Attempts: 1,
+			KeyHash: h.Hash("key", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), ObjectHash: h.Hash("object", "7f3a9c21e0b4d655"), BytesOut: 500})
 	}
 	w.Close()
 }
--- a/internal/accesslog/recording.go
+++ b/internal/accesslog/recording.go
@@ -20,7 +20,7 @@
 }
 
 // End is when its client had its answer, or left.
-func (r *Request) End() int64 { return r.Arrived + r.Took }
+func (r *Request) End() int64 { return r.Arrived + r.Duration }
 
 // Run is what one run of an instance has left.
 type Run struct {
@@ -34,7 +34,7 @@
 	Offset            int64   // by which the system's clock was ahead of the run's, at the end
 	Steps             []int64 // by which the system's clock stepped, from one segment to the next
 	offsets           []int64
-	most              int64 // the greatest number of a row
+	maxSeq            int64 // the greatest number of a row
 }
 
 // Recording is what a number of folders hold.
@@ -45,7 +45,7 @@
 }
 
 // stepLeast is the least step of a clock that is told, in microseconds: less is how late a segment is written.
-const stepLeast = 200_000
+const minClockStep = 200_000
 
 // Read reads folders and single segments. What cannot be read is told as a problem, and the rest is read.
 func Read(paths ...string) (*Recording, error) {
@@ -64,7 +64,7 @@
 			return nil, err
 		}
 		for _, e := range entries {
-			if strings.HasSuffix(e.Name(), suffix) && !strings.HasPrefix(e.Name(), ".") {
+			if strings.HasSuffix(e.Name(), segmentSuffix) && !strings.HasPrefix(e.Name(), ".") {
 				files = append(files, filepath.Join(p, e.Name()))
 			}
 		}
@@ -79,7 +79,7 @@
 		}
 	}
 	for _, r := range rec.Runs {
-		r.sum()
+		r.summarize()
 	}
 	slices.SortStableFunc(rec.Requests, func(a, b Request) int { return cmp.Compare(a.Arrived, b.Arrived) })
 	return rec, nil
@@ -125,12 +125,12 @@
 		}
 		seen[name][row.Seq] = true
 		r.Rows++
-		r.most = max(r.most, row.Seq)
+		r.maxSeq = max(r.maxSeq, row.Seq)
 		if r.From == 0 || row.Arrived < r.From {
 			r.From = row.Arrived
 		}
-		r.To = max(r.To, row.Arrived+row.Took)
-		last = max(last, row.Arrived+row.Took)
+		r.To = max(r.To, row.Arrived+row.Duration)
+		last = max(last, row.Arrived+row.Duration)
 		rec.Requests = append(rec.Requests, Request{row, r.Instance})
 	}
 	if wall, err := strconv.ParseInt(meta["ended_wall_us"], 10, 64); err == nil && last > 0 {
@@ -170,13 +170,13 @@
 }
 
 // sum tells what a run's segments say together.
-func (r *Run) sum() {
+func (r *Run) summarize() {
 	if r.Sample >= 1 {
-		r.Missing = r.most - r.Rows
+		r.Missing = r.maxSeq - r.Rows
 	}
 	for i, at := range r.offsets {
 		if i > 0 {
-			if step := at - r.offsets[i-1]; step > stepLeast || step < -stepLeast {
+			if step := at - r.offsets[i-1]; step > minClockStep || step < -minClockStep {
 				r.Steps = append(r.Steps, step)
 			}
 		}
@@ -193,7 +193,7 @@
 // instances wrote can be put together.
 func (rec *Recording) Align() {
 	for _, r := range rec.Runs {
-		if r.Offset > -stepLeast && r.Offset < stepLeast+sealed {
+		if r.Offset > -minClockStep && r.Offset < minClockStep+maxSegmentDelay {
 			continue
 		}
 		for i := range rec.Requests {
@@ -208,7 +208,7 @@
 
 // sealed is for how long a segment may rest before it is written, in microseconds: a clock that is ahead by less may be
 // right.
-const sealed = 60_000_000
+const maxSegmentDelay = 60_000_000
 
 // Check tells what a recording lacks, for whoever wants to play it again.
 func (rec *Recording) Check() (all []string) {
@@ -227,7 +227,7 @@
 		for _, step := range r.Steps {
 			all = append(all, fmt.Sprintf("%s: the system's clock stepped by %.3f s meanwhile; the run's own did not", at, float64(step)/1e6))
 		}
-		if r.Offset < -stepLeast || r.Offset > sealed+stepLeast {
+		if r.Offset < -minClockStep || r.Offset > maxSegmentDelay+minClockStep {
 			all = append(all, fmt.Sprintf("%s: its clock was %.3f s off at the end; put together with others, align it", at, float64(r.Offset)/1e6))
 		}
 	}
@@ -245,7 +245,7 @@
 	for i := range rec.Requests {
 		q := &rec.Requests[i]
 		counts[q.Class]++
-		if q.Key == 0 && q.Object == 0 && !q.Retry {
+		if q.KeyHash == 0 && q.ObjectHash == 0 && !q.Retry {
 			blind[q.Class]++
 		}
 	}
--- a/internal/accesslog/writer.go
+++ b/internal/accesslog/writer.go
@@ -30,17 +30,17 @@
 
 // Writer writes a record. It never waits for the disk: what cannot be written in time is dropped, counted and told.
 type Writer struct {
-	o       Options
+	options Options
 	process string // of this run, a part of the segments' names
 
-	mu      sync.Mutex
-	rows    []Row
-	began   time.Time // of the present segment
-	seq     int64
-	dropped int64
-	closed  bool
+	mu           sync.Mutex
+	rows         []Row
+	segmentStart time.Time // of the present segment
+	seq          int64
+	dropped      int64
+	closed       bool
 
-	full    chan segment
+	pending chan segment
 	done    chan struct{}
 	tick    *time.Ticker
 	writing sync.Mutex // one segment at a time
@@ -56,18 +56,18 @@
 }
 
 // segmentsWaiting is how many segments may wait for the disk.
-const segmentsWaiting = 2
+const maxPendingSegments = 2
 
 // suffix is that of a segment's name.
-const suffix = ".parquet"
+const segmentSuffix = ".parquet"
 
 // partial is what a segment's name ends in while it is being written.
-const partial = ".part"
+const partialSuffix = ".part"
 
 // ours says whether a segment's name is one of this instance's, and of which process.
-func (w *Writer) ours(name string) (pid int, ours bool) {
-	rest, ok := strings.CutPrefix(name, w.o.Instance+"-")
-	rest, whole := strings.CutSuffix(rest, suffix)
+func (w *Writer) ownSegment(name string) (pid int, ours bool) {
+	rest, ok := strings.CutPrefix(name, w.options.Instance+"-")
+	rest, whole := strings.CutSuffix(rest, segmentSuffix)
 	process, number, two := strings.Cut(rest, "-")
 	if !ok || !whole || !two || strings.Contains(number, "-") {
 		return 0, false
@@ -94,7 +94,7 @@
 }
 
 // alive says whether a process is there: a taker begins to write while its giver still does.
-func alive(pid int) bool {
+func processAlive(pid int) bool {
 	return pid == os.Getpid() || syscall.Kill(pid, 0) == nil
 }
 
@@ -109,16 +109,16 @@
 	if strings.ContainsAny(o.Instance, "/\\\x00") || o.Instance == "" {
 		return nil, fmt.Errorf("instance %q cannot be a part of a file's name", o.Instance)
 	}
-	w := &Writer{o: o, process: strconv.FormatInt(o.Now().UnixMilli(), 36) + "p" + strconv.FormatInt(int64(os.Getpid()), 36), began: o.Now(), full: make(chan segment, segmentsWaiting), done: make(chan struct{}),
+	w := &Writer{options: o, process: strconv.FormatInt(o.Now().UnixMilli(), 36) + "p" + strconv.FormatInt(int64(os.Getpid()), 36), segmentStart: o.Now(), pending: make(chan segment, maxPendingSegments), done: make(chan struct{}),
 		tick: time.NewTicker(max(o.Age/4, 10*time.Millisecond))}
 	entries, err := os.ReadDir(o.Dir)
 	if err != nil {
 		return nil, err
 	}
 	for _, e := range entries {
-		name, part := strings.CutSuffix(strings.TrimPrefix(e.Name(), "."), partial)
-		pid, ours := w.ours(name)
-		if part && ours && !alive(pid) {
+		name, part := strings.CutSuffix(strings.TrimPrefix(e.Name(), "."), partialSuffix)
+		pid, ours := w.ownSegment(name)
+		if part && ours && !processAlive(pid) {
 			if err := os.Remove(filepath.Join(o.Dir, e.Name())); err != nil && !os.IsNotExist(err) {
 				return nil, err
 			}
@@ -137,28 +137,28 @@
 	}
 	w.seq++
 	r.Seq = w.seq
-	if !Sampled(&r, w.o.Sample) {
+	if !Sampled(&r, w.options.Sample) {
 		return
 	}
 	if w.rows == nil {
-		w.rows = make([]Row, 0, min(w.o.Rows, 1024))
+		w.rows = make([]Row, 0, min(w.options.Rows, 1024))
 	}
 	w.rows = append(w.rows, r)
-	if len(w.rows) >= w.o.Rows {
-		w.end()
+	if len(w.rows) >= w.options.Rows {
+		w.handOverLocked()
 	}
 }
 
 // end hands the present segment on. The caller holds mu.
-func (w *Writer) end() {
-	s := segment{w.rows, w.began, w.dropped}
+func (w *Writer) handOverLocked() {
+	s := segment{w.rows, w.segmentStart, w.dropped}
 	select {
-	case w.full <- s:
+	case w.pending <- s:
 		w.dropped = 0
 	default:
 		w.dropped += int64(len(s.rows))
 	}
-	w.rows, w.began = nil, w.o.Now()
+	w.rows, w.segmentStart = nil, w.options.Now()
 }
 
 // run writes segments, and ends those that have grown old.
@@ -166,15 +166,15 @@
 	defer close(w.done)
 	for {
 		select {
-		case s, ok := <-w.full:
+		case s, ok := <-w.pending:
 			if !ok {
 				return
 			}
 			w.write(s)
 		case <-w.tick.C:
 			w.mu.Lock()
-			if !w.closed && len(w.rows) > 0 && w.o.Now().Sub(w.began) >= w.o.Age {
-				w.end()
+			if !w.closed && len(w.rows) > 0 && w.options.Now().Sub(w.segmentStart) >= w.options.Age {
+				w.handOverLocked()
 			}
 			w.mu.Unlock()
 		}
@@ -189,9 +189,9 @@
 		return
 	}
 	w.closed = true
-	last := segment{w.rows, w.began, w.dropped}
+	last := segment{w.rows, w.segmentStart, w.dropped}
 	w.rows = nil
-	close(w.full)
+	close(w.pending)
 	w.mu.Unlock()
 	<-w.done
 	w.tick.Stop()
@@ -211,7 +211,7 @@
 func (w *Writer) write(s segment) {
 	w.writing.Lock()
 	defer w.writing.Unlock()
-	err := w.file(s)
+	err := w.writeFile(s)
 	if err == nil {
 		err = w.rotate()
 	} else {
@@ -219,16 +219,16 @@
 		w.dropped += s.dropped + int64(len(s.rows))
 		w.mu.Unlock()
 	}
-	if now := w.o.Now(); err != nil && now.Sub(w.lastLog) > 10*time.Second {
+	if now := w.options.Now(); err != nil && now.Sub(w.lastLog) > 10*time.Second {
 		w.lastLog = now
-		w.o.Log.Warn("access record not written", "dir", w.o.Dir, "error", err, "rows", len(s.rows))
+		w.options.Log.Warn("access record not written", "dir", w.options.Dir, "error", err, "rows", len(s.rows))
 	}
 }
 
-func (w *Writer) file(s segment) (err error) {
+func (w *Writer) writeFile(s segment) (err error) {
 	w.number++
-	name := fmt.Sprintf("%s-%s-%06d%s", w.o.Instance, w.process, w.number, suffix)
-	part := filepath.Join(w.o.Dir, "."+name+partial)
+	name := fmt.Sprintf("%s-%s-%06d%s", w.options.Instance, w.process, w.number, segmentSuffix)
+	part := filepath.Join(w.options.Dir, "."+name+partialSuffix)
 	f, err := os.OpenFile(part, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640)
 	if err != nil {
 		return err
@@ -240,8 +240,8 @@
 		}
 	}()
 	p := parquet.NewGenericWriter[Row](f, parquet.Compression(&zstd.Codec{Level: zstd.SpeedFastest}), parquet.CreatedBy("dunlinsail", fmt.Sprint(Version), ""))
-	for key, v := range map[string]string{"version": fmt.Sprint(Version), "instance": w.o.Instance, "process": w.process, "sample": strconv.FormatFloat(w.o.Sample, 'g', -1, 64),
-		"dropped": fmt.Sprint(s.dropped), "began_wall_us": fmt.Sprint(s.began.UnixMicro()), "ended_wall_us": fmt.Sprint(w.o.Now().UnixMicro())} {
+	for key, v := range map[string]string{"version": fmt.Sprint(Version), "instance": w.options.Instance, "process": w.process, "sample": strconv.FormatFloat(w.options.Sample, 'g', -1, 64),
+		"dropped": fmt.Sprint(s.dropped), "began_wall_us": fmt.Sprint(s.began.UnixMicro()), "ended_wall_us": fmt.Sprint(w.options.Now().UnixMicro())} {
 		p.SetKeyValueMetadata(key, v)
 	}
 	if _, err = p.Write(s.rows); err != nil {
@@ -256,15 +256,15 @@
 	if err = f.Close(); err != nil {
 		return err
 	}
-	return os.Rename(part, filepath.Join(w.o.Dir, name))
+	return os.Rename(part, filepath.Join(w.options.Dir, name))
 }
 
 // rotate removes the oldest of this instance's segments where they are too many.
 func (w *Writer) rotate() error {
-	if w.o.Keep <= 0 {
+	if w.options.Keep <= 0 {
 		return nil
 	}
-	entries, err := os.ReadDir(w.o.Dir)
+	entries, err := os.ReadDir(w.options.Dir)
 	if err != nil {
 		return err
 	}
@@ -277,10 +277,10 @@
 	var sum int64
 	for _, e := range entries {
 		info, err := e.Info()
-		if _, ours := w.ours(e.Name()); !ours || err != nil {
+		if _, ours := w.ownSegment(e.Name()); !ours || err != nil {
 			continue // another's, or somebody else removed it
 		}
-		all = append(all, file{filepath.Join(w.o.Dir, e.Name()), info.Size(), info.ModTime()})
+		all = append(all, file{filepath.Join(w.options.Dir, e.Name()), info.Size(), info.ModTime()})
 		sum += info.Size()
 	}
 	slices.SortFunc(all, func(a, b file) int {
@@ -290,7 +290,7 @@
 		return strings.Compare(a.path, b.path)
 	})
 	for _, f := range all[:max(0, len(all)-1)] { // the newest stays in any case
-		if sum <= w.o.Keep {
+		if sum <= w.options.Keep {
 			return nil
 		}
 		if err := os.Remove(f.path); err != nil && !os.IsNotExist(err) {
--- a/internal/admin/operators_test.go
+++ b/internal/admin/operators_test.go
@@ -15,7 +15,7 @@
 )
 
 // serve serves calls of which the good ones are noted.
-func serve(t *testing.T, d Desk) (addr string, said func() []string) {
+func startServer(t *testing.T, d Backend) (addr string, said func() []string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -23,10 +23,10 @@
 	}
 	var mu sync.Mutex
 	var all []string
-	if d.ByHand == nil {
-		d.ByHand = func(_ context.Context, target string, out bool) error {
+	if d.SetCordon == nil {
+		d.SetCordon = func(_ context.Context, target string, out bool) error {
 			if target == "s-nobody" {
-				return ErrUnknown
+				return ErrUnknownEndpoint
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -37,7 +37,7 @@
 	if d.Ready == nil {
 		d.Ready = func() (bool, string) { return true, "" }
 	}
-	d.Figures = func(context.Context) ([]byte, error) { return []byte("open_requests=3\n"), nil }
+	d.Metrics = func(context.Context) ([]byte, error) { return []byte("open_requests=3\n"), nil }
 	d.Log = slog.New(slog.DiscardHandler)
 	ended := make(chan error, 1)
 	go func() { ended <- Serve(ln, d) }()
@@ -55,7 +55,7 @@
 }
 
 // call makes a call in so many words and returns its answer.
-func call(t *testing.T, addr, text string) (code int, allow, body string) {
+func roundTrip(t *testing.T, addr, text string) (code int, allow, body string) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -75,41 +75,41 @@
 	return r.StatusCode, r.Header.Get("Allow"), string(all)
 }
 
-func post(path, body string) string {
+func postRequest(path, body string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
-func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+func getRequest(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
 
-func TestCalls(t *testing.T) {
-	addr, said := serve(t, Desk{})
+func TestRequests(t *testing.T) {
+	addr, said := startServer(t, Backend{})
 	for _, c := range []struct {
 		text  string
 		code  int
 		allow string
 		says  string
 	}{
-		{get("/ready"), 200, "", "ready"},
-		{get("/metrics"), 200, "", "open_requests=3"},
-		{post("/endpoints/disable", `{"target":"s-1"}`), 200, "", "s-1 is out"},
-		{post("/endpoints/enable", ` {"target":"s-1","why":"restarted"} `), 200, "", "s-1 may serve"},
+		{getRequest("/ready"), 200, "", "ready"},
+		{getRequest("/metrics"), 200, "", "open_requests=3"},
+		{postRequest("/endpoints/disable", `{"target":"s-1"}`), 200, "", "s-1 is out"},
+		{postRequest("/endpoints/enable", ` {"target":"s-1","why":"restarted"} `), 200, "", "s-1 may serve"},
 		{"POST /endpoints/enable HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\"target\":\"s-2\"}\r\n0\r\n\r\n", 200, "", "s-2"},
-		{post("/endpoints/disable", `{"target":"s-nobody"}`), 404, "", "s-nobody"},
-		{post("/endpoints/disable", `{"target":`), 400, "", "target"},
-		{post("/endpoints/disable", `{"target":7}`), 400, "", "target"},
-		{post("/endpoints/disable", `{"target":"s-1"}{"target":"s-2"}`), 400, "", "follows"},
-		{post("/endpoints/disable", `{}`), 400, "", "missing"},
-		{post("/endpoints/disable", `{"target":""}`), 400, "", "missing"},
-		{post("/endpoints/disable", `{"target":"a\u0000b"}`), 400, "", "control"},
-		{post("/endpoints/disable", ``), 400, "", "target"},
-		{post("/endpoints/disable", `{"target":"`+strings.Repeat("x", 300)+`"}`), 400, "", "256"},
-		{post("/endpoints/disable", `{"target":"`+strings.Repeat("x", 5000)+`"}`), 400, "", "4096"},
-		{get("/endpoints/disable"), 405, "POST", "POST"},
-		{post("/ready", ``), 405, "GET", "GET"},
-		{get("/nothing"), 404, "", "/metrics"},
+		{postRequest("/endpoints/disable", `{"target":"s-nobody"}`), 404, "", "s-nobody"},
+		{postRequest("/endpoints/disable", `{"target":`), 400, "", "target"},
+		{postRequest("/endpoints/disable", `{"target":7}`), 400, "", "target"},
+		{postRequest("/endpoints/disable", `{"target":"s-1"}{"target":"s-2"}`), 400, "", "follows"},
+		{postRequest("/endpoints/disable", `{}`), 400, "", "missing"},
+		{postRequest("/endpoints/disable", `{"target":""}`), 400, "", "missing"},
+		{postRequest("/endpoints/disable", `{"target":"a\u0000b"}`), 400, "", "control"},
+		{postRequest("/endpoints/disable", ``), 400, "", "target"},
+		{postRequest("/endpoints/disable", `{"target":"`+strings.Repeat("x", 300)+`"}`), 400, "", "256"},
+		{postRequest("/endpoints/disable", `{"target":"`+strings.Repeat("x", 5000)+`"}`), 400, "", "4096"},
+		{getRequest("/endpoints/disable"), 405, "POST", "POST"},
+		{postRequest("/ready", ``), 405, "GET", "GET"},
+		{getRequest("/nothing"), 404, "", "/metrics"},
 		{"GET /ready\r\n\r\n", 400, "", ""},
 	} {
-		code, allow, body := call(t, addr, c.text)
+		code, allow, body := roundTrip(t, addr, c.text)
 		if code != c.code || allow != c.allow || !strings.Contains(body, c.says) {
 			t.Errorf("%.60q: %d %q %q", c.text, code, allow, body)
 		}
@@ -120,9 +120,9 @@
 }
 
 // Three times as many as may be connected say nothing, or half a call: a good call is answered all the same, at once.
-func TestSilentCallersKeepNobodyOut(t *testing.T) {
-	addr, _ := serve(t, Desk{})
-	for i := range 3 * callersMost {
+func TestSilentConnectionsDoNotBlockOthers(t *testing.T) {
+	addr, _ := startServer(t, Backend{})
+	for i := range 3 * maxConns {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
@@ -132,32 +132,32 @@
 			io.WriteString(c, "POST /endpoints/disable HTTP/1.1\r\nHost: x\r\nContent-Length: 40\r\n\r\n{")
 		}
 	}
-	for range 2 * callersMost {
-		began := time.Now()
-		if code, _, _ := call(t, addr, get("/ready")); code != 200 {
+	for range 2 * maxConns {
+		start := time.Now()
+		if code, _, _ := roundTrip(t, addr, getRequest("/ready")); code != 200 {
 			t.Errorf("answered %d", code)
 		}
-		if took := time.Since(began); took > time.Second {
+		if took := time.Since(start); took > time.Second {
 			t.Errorf("answered after %v", took)
 		}
 	}
 }
 
 // A process that is too busy to take a word in says so in time, and is not said to have obeyed.
-func TestBusy(t *testing.T) {
-	addr, _ := serve(t, Desk{Ready: func() (bool, string) { return false, "no endpoint" },
-		ByHand: func(ctx context.Context, _ string, _ bool) error {
+func TestSlowBackendIsReportedInTime(t *testing.T) {
+	addr, _ := startServer(t, Backend{Ready: func() (bool, string) { return false, "no endpoint" },
+		SetCordon: func(ctx context.Context, _ string, _ bool) error {
 			<-ctx.Done()
 			return ctx.Err()
 		}})
-	began := time.Now()
-	if code, _, body := call(t, addr, post("/endpoints/disable", `{"target":"s-1"}`)); code != 503 || !strings.Contains(body, "again") {
+	start := time.Now()
+	if code, _, body := roundTrip(t, addr, postRequest("/endpoints/disable", `{"target":"s-1"}`)); code != 503 || !strings.Contains(body, "again") {
 		t.Errorf("%d %q", code, body)
 	}
-	if took := time.Since(began); took > answerTime+time.Second {
+	if took := time.Since(start); took > backendTimeout+time.Second {
 		t.Errorf("answered after %v", took)
 	}
-	if code, _, body := call(t, addr, get("/ready")); code != 503 || !strings.Contains(body, "no endpoint") {
+	if code, _, body := roundTrip(t, addr, getRequest("/ready")); code != 503 || !strings.Contains(body, "no endpoint") {
 		t.Errorf("%d %q", code, body)
 	}
 }
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -12,5 +12,5 @@
 	if err != nil {
 		return err
 	}
-	return eventlog.Count(fleet).Write(out)
+	return eventlog.Analyze(fleet).Write(out)
 }
--- a/internal/daemon/accesslog.go
+++ b/internal/daemon/accesslog.go
@@ -48,34 +48,34 @@
 	site := &d.options.Config.Site
 	h := d.keyHasher
 	r := accesslog.Row{
-		Arrived:  x.ArrivedAt,
-		Took:     x.EndedAt - x.ArrivedAt,
-		Waited:   x.Response.QueueTime,
-		Patience: x.ClientTimeout,
-		Client:   x.ClientName,
-		Route:    x.RouteName,
-		Class:    site.Classes[x.Class],
-		Endpoint: x.Response.Endpoint,
-		Status:   int32(x.Status),
-		Attempts: int32(x.Response.Attempts),
-		Key:      h.Hash("key", x.IdempotencyKey),
-		Object:   h.Hash("object", x.Object),
-		In:       x.RequestBytes,
-		Out:      x.ResponseBytes,
-		Retry:    x.Retry,
+		Arrived:       x.ArrivedAt,
+		Duration:      x.EndedAt - x.ArrivedAt,
+		QueueTime:     x.Response.QueueTime,
+		ClientTimeout: x.ClientTimeout,
+		Client:        x.ClientName,
+		Route:         x.RouteName,
+		Class:         site.Classes[x.Class],
+		Endpoint:      x.Response.Endpoint,
+		Status:        int32(x.Status),
+		Attempts:      int32(x.Response.Attempts),
+		KeyHash:       h.Hash("key", x.IdempotencyKey),
+		ObjectHash:    h.Hash("object", x.Object),
+		BytesIn:       x.RequestBytes,
+		BytesOut:      x.ResponseBytes,
+		Retry:         x.Retry,
 	}
 	if int(x.Tenant) < len(site.Tenants) {
 		r.Tenant = site.Tenants[x.Tenant]
 	}
 	switch {
 	case x.ClientGone:
-		r.Verdict = accesslog.Left
+		r.Verdict = accesslog.Cancelled
 	case x.Response.Verdict == engine.Served:
 		r.Verdict = accesslog.Served
 	case x.Response.Verdict == engine.Rejected, x.Response.Verdict == engine.RateLimited:
-		r.Verdict = accesslog.Refused
+		r.Verdict = accesslog.Rejected
 	case x.Response.Verdict == engine.TimedOut:
-		r.Verdict = accesslog.Late
+		r.Verdict = accesslog.TimedOut
 	default:
 		r.Verdict = accesslog.Failed
 	}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -55,14 +55,14 @@
 }
 
 // adminBackend answers operators' calls.
-func (d *generation) adminBackend() admin.Desk {
-	return admin.Desk{
-		Ready:   d.readiness,
-		Figures: d.metrics,
-		ByHand:  d.setCordon,
-		Members: d.fleetView,
-		Work:    d.work,
-		Log:     d.log,
+func (d *generation) adminBackend() admin.Backend {
+	return admin.Backend{
+		Ready:       d.readiness,
+		Metrics:     d.metrics,
+		SetCordon:   d.setCordon,
+		Members:     d.fleetView,
+		Maintenance: d.work,
+		Log:         d.log,
 	}
 }
 
@@ -71,7 +71,7 @@
 func (d *generation) setCordon(ctx context.Context, target string, out bool) error {
 	_, known, err := d.core.SetCordon(ctx, target, out, takeover.Monotonic())
 	if err == nil && !known {
-		err = admin.ErrUnknown
+		err = admin.ErrUnknownEndpoint
 	}
 	return err
 }
--- a/internal/daemon/record_test.go
+++ b/internal/daemon/record_test.go
@@ -65,14 +65,14 @@
 	}
 	byKey, verdicts := map[uint64]int{}, map[string]int{}
 	for _, q := range rec.Requests {
-		if q.Key != 0 {
-			byKey[q.Key]++
+		if q.KeyHash != 0 {
+			byKey[q.KeyHash]++
 		}
 		verdicts[q.Class+" "+q.Verdict]++
-		if q.Client != "desk" || q.Tenant != "acme" || q.Took <= 0 || q.Patience <= 0 || (q.Class == "book") != (q.Key != 0) {
+		if q.Client != "desk" || q.Tenant != "acme" || q.Duration <= 0 || q.ClientTimeout <= 0 || (q.Class == "book") != (q.KeyHash != 0) {
 			t.Errorf("%+v", q)
 		}
-		if q.Verdict == accesslog.Served && (q.Status != 200 || q.Attempts < 1 || !strings.HasPrefix(q.Endpoint, "s-") || q.Out <= 0) {
+		if q.Verdict == accesslog.Served && (q.Status != 200 || q.Attempts < 1 || !strings.HasPrefix(q.Endpoint, "s-") || q.BytesOut <= 0) {
 			t.Errorf("%+v", q)
 		}
 	}
@@ -90,7 +90,7 @@
 			t.Errorf("%s holds a patient's number", name)
 		}
 	}
-	if n := len(rec.Stories()); n != r.Scheduled+3 {
+	if n := len(rec.Operations()); n != r.Scheduled+3 {
 		t.Errorf("%d stories", n)
 	}
 }
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -22,13 +22,13 @@
 
 // The kinds of event.
 const (
-	Sent   Kind = "sent"   // an attempt started
-	Ended  Kind = "ended"  // and had an outcome
-	Probed Kind = "probed" // a probe had an outcome
-	Told   Kind = "told"   // news of an endpoint came
-	Dialed Kind = "dialed" // a connection to an endpoint was opened, or was not
-	Closed Kind = "closed" // and closed
-	Asked  Kind = "asked"  // discovery was called
+	AttemptStarted  Kind = "sent"   // an attempt started
+	AttemptEnded    Kind = "ended"  // and had an outcome
+	ProbeEnded      Kind = "probed" // a probe had an outcome
+	EndpointUpdated Kind = "told"   // news of an endpoint came
+	ConnOpened      Kind = "dialed" // a connection to an endpoint was opened, or was not
+	ConnClosed      Kind = "closed" // and closed
+	DiscoveryPolled Kind = "asked"  // discovery was called
 )
 
 // Event is what happened at one instance.
@@ -41,7 +41,7 @@
 	Latency  monotime.Micros
 }
 
-const mark = "event "
+const linePrefix = "event "
 
 // String is the event's line without its end. What reads it needs no quoting: names with blanks are written with "_".
 func (e Event) String() string {
@@ -56,19 +56,19 @@
 			return r
 		}, s)
 	}
-	return fmt.Sprintf("%s%d %s %s %s %s %d", mark, e.At, e.Kind, word(e.Endpoint), word(e.Addr), word(e.Status), e.Latency)
+	return fmt.Sprintf("%s%d %s %s %s %s %d", linePrefix, e.At, e.Kind, word(e.Endpoint), word(e.Addr), word(e.Status), e.Latency)
 }
 
 // Parse reads a line. What stands before the event, as a time that a collector of logs puts there, is passed over; ok says
 // whether there is an event, and err what is wrong with it.
 func Parse(line string) (e Event, ok bool, err error) {
-	at := strings.Index(line, mark)
+	at := strings.Index(line, linePrefix)
 	if at < 0 {
 		return e, false, nil
 	}
-	f := strings.Fields(line[at+len(mark):])
+	f := strings.Fields(line[at+len(linePrefix):])
 	if len(f) != 6 {
-		return e, true, fmt.Errorf("%d words after %q, want 6", len(f), strings.TrimSpace(mark))
+		return e, true, fmt.Errorf("%d words after %q, want 6", len(f), strings.TrimSpace(linePrefix))
 	}
 	if e.At, err = strconv.ParseInt(f[0], 10, 64); err != nil {
 		return e, true, err
@@ -104,13 +104,13 @@
 // Log writes events. It is engine.Observer and is told of connections and calls of discovery beside that. Its methods may
 // be called side by side.
 type Log struct {
-	now func() monotime.Micros
-	mu  sync.Mutex
-	to  io.Writer
+	now    func() monotime.Micros
+	mu     sync.Mutex
+	output io.Writer
 }
 
 // NewLog returns a log that writes to a writer, with instants by a clock. What cannot be written is lost.
-func NewLog(to io.Writer, now func() monotime.Micros) *Log { return &Log{now: now, to: to} }
+func NewLog(to io.Writer, now func() monotime.Micros) *Log { return &Log{now: now, output: to} }
 
 func (l *Log) write(e Event) {
 	if e.At == 0 {
@@ -118,62 +118,64 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fmt.Fprintln(l.to, e)
+	fmt.Fprintln(l.output, e)
 }
 
-var statuses = [...]string{balancer.OK: "ok", balancer.Error: "error", balancer.Rejected: "full", balancer.Timeout: "timeout",
+var statusNames = [...]string{balancer.OK: "ok", balancer.Error: "error", balancer.Rejected: "full", balancer.Timeout: "timeout",
 	balancer.ConnectFailed: "connect", balancer.Reset: "reset", balancer.Cancelled: "cancelled", balancer.NotSent: "moot"}
 
-var states = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
+var stateNames = [...]string{balancer.Ready: "ready", balancer.Draining: "draining", balancer.Gone: "gone"}
 
 // AttemptStarted notes that an attempt started.
 func (l *Log) AttemptStarted(now monotime.Micros, endpoint string) {
-	l.write(Event{At: now, Kind: Sent, Endpoint: endpoint})
+	l.write(Event{At: now, Kind: AttemptStarted, Endpoint: endpoint})
 }
 
 // AttemptEnded notes an attempt's outcome.
 func (l *Log) AttemptEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
-	l.write(Event{At: now, Kind: Ended, Endpoint: endpoint, Status: statuses[s], Latency: latency})
+	l.write(Event{At: now, Kind: AttemptEnded, Endpoint: endpoint, Status: statusNames[s], Latency: latency})
 }
 
 // ProbeEnded notes a probe's outcome.
 func (l *Log) ProbeEnded(now monotime.Micros, endpoint string, s balancer.Status, latency monotime.Micros) {
-	l.write(Event{At: now, Kind: Probed, Endpoint: endpoint, Status: statuses[s], Latency: latency})
+	l.write(Event{At: now, Kind: ProbeEnded, Endpoint: endpoint, Status: statusNames[s], Latency: latency})
 }
 
 // EndpointsUpdated notes an update of the endpoint list, an event for each entry. What a full list leaves out is not noted.
 func (l *Log) EndpointsUpdated(now monotime.Micros, t engine.EndpointUpdate) {
 	for _, m := range t.Endpoints {
-		l.write(Event{At: now, Kind: Told, Endpoint: m.Name, Addr: m.Addr, Status: states[m.State]})
+		l.write(Event{At: now, Kind: EndpointUpdated, Endpoint: m.Name, Addr: m.Addr, Status: stateNames[m.State]})
 	}
 }
 
-// Asked notes a call of discovery.
-func (l *Log) Asked(err error) { l.write(Event{Kind: Asked, Status: okIf(err == nil)}) }
+// DiscoveryPolled notes a call of discovery.
+func (l *Log) DiscoveryPolled(err error) {
+	l.write(Event{Kind: DiscoveryPolled, Status: outcome(err == nil)})
+}
 
-func okIf(yes bool) string {
+func outcome(yes bool) string {
 	if yes {
 		return "ok"
 	}
 	return "failed"
 }
 
-// Dialed notes a connection that was opened to an address, or was not, and returns it such that its close is noted.
-func (l *Log) Dialed(addr string, c net.Conn, err error) (net.Conn, error) {
-	l.write(Event{Kind: Dialed, Endpoint: addr, Status: okIf(err == nil)})
+// ConnOpened notes a connection that was opened to an address, or was not, and returns it such that its close is noted.
+func (l *Log) ConnOpened(addr string, c net.Conn, err error) (net.Conn, error) {
+	l.write(Event{Kind: ConnOpened, Endpoint: addr, Status: outcome(err == nil)})
 	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
-		return &conn{TCPConn: tcp, closed: sync.OnceFunc(func() { l.write(Event{Kind: Closed, Endpoint: addr}) })}, nil
+		return &observedConn{TCPConn: tcp, onClose: sync.OnceFunc(func() { l.write(Event{Kind: ConnClosed, Endpoint: addr}) })}, nil
 	}
 	return c, err
 }
 
-// conn is a connection whose close is noted.
-type conn struct {
+// observedConn is a connection whose close is noted.
+type observedConn struct {
 	*net.TCPConn
-	closed func()
+	onClose func()
 }
 
-func (c *conn) Close() error {
-	c.closed()
+func (c *observedConn) Close() error {
+	c.onClose()
 	return c.TCPConn.Close()
 }
--- a/internal/eventlog/golden_test.go
+++ b/internal/eventlog/golden_test.go
@@ -60,12 +60,12 @@
 		{Name: "node-2", Addr: "10.0.0.2:80", State: balancer.Draining},
 		{Name: "node-3", State: balancer.Gone},
 	}})
-	l.Asked(nil)
-	l.Asked(errors.New("discovery is down"))
-	if _, err := l.Dialed("10.0.0.9:80", nil, net.ErrClosed); err == nil {
+	l.DiscoveryPolled(nil)
+	l.DiscoveryPolled(errors.New("discovery is down"))
+	if _, err := l.ConnOpened("10.0.0.9:80", nil, net.ErrClosed); err == nil {
 		t.Error("the error of a dial was lost")
 	}
-	c, err := l.Dialed("10.0.0.1:80", &net.TCPConn{}, nil)
+	c, err := l.ConnOpened("10.0.0.1:80", &net.TCPConn{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/eventlog/report.go
+++ b/internal/eventlog/report.go
@@ -38,36 +38,36 @@
 }
 
 // Write tells the counts, a line for each.
-func (c Counts) Write(w io.Writer) error {
+func (c FleetStats) Write(w io.Writer) error {
 	var err error
 	say := func(format string, args ...any) {
 		if err == nil {
 			_, err = fmt.Fprintf(w, format+"\n", args...)
 		}
 	}
-	row := func(name string, s Spread) {
-		say("  %-58s %7d %9.2f %9.2f %9.2f", name, s.N, s.Mean, s.Half, s.Most)
+	row := func(name string, s Distribution) {
+		say("  %-58s %7d %9.2f %9.2f %9.2f", name, s.Count, s.Mean, s.Median, s.Max)
 	}
 	say("%d instances, %d endpoints, %.1f s: %d attempts, %d of them failed; %d connections not opened", c.Instances, c.Endpoints,
-		c.Seconds, c.Attempts, c.Failures, c.DialsFailed)
-	say("discovery: %d calls that went well, %d that failed, %d in the busiest second", c.Asked, c.AskedFailed, c.AskedMost)
+		c.Seconds, c.Attempts, c.Failures, c.FailedDials)
+	say("discovery: %d calls that went well, %d that failed, %d in the busiest second", c.Polls, c.FailedPolls, c.MaxPollsPerSecond)
 	say("  %-58s %7s %9s %9s %9s", "", "n", "mean", "median", "most")
-	row("attempts at one endpoint in one second", c.PerSecond[Sent])
-	row("probes at one endpoint in one second", c.PerSecond[Probed])
-	row("new connections at one endpoint in one second", c.PerSecond[Dialed])
-	row("connections of all instances at one endpoint, at once", c.Held)
-	say("%d endpoints came:", c.New.Endpoints)
-	row("seconds until an instance was told, after the first was", c.New.Told)
-	row("seconds until its first attempt there", c.New.Used)
-	row("instances that used such an endpoint", c.New.Users)
-	say("%d endpoints left the list:", c.Lost.Endpoints)
-	row("seconds until an instance was told, after the first was", c.Lost.Told)
-	row("failed attempts by those not yet told, at one endpoint", c.Lost.Unknowing)
-	say("%d endpoints were bad in %d stretches of time:", c.Bad.Endpoints, c.Bad.Stretches)
-	row("seconds from the first failure to the last", c.Bad.Length)
-	row("failures in one stretch", c.Bad.Failures)
-	row("of them later than 2 s after the fleet's first", c.Bad.Late)
-	row("instances that met it", c.Bad.Met)
-	row("failures that one instance met", c.Bad.Each)
+	row("attempts at one endpoint in one second", c.PerSecond[AttemptStarted])
+	row("probes at one endpoint in one second", c.PerSecond[ProbeEnded])
+	row("new connections at one endpoint in one second", c.PerSecond[ConnOpened])
+	row("connections of all instances at one endpoint, at once", c.OpenConns)
+	say("%d endpoints came:", c.Added.Endpoints)
+	row("seconds until an instance was told, after the first was", c.Added.Notified)
+	row("seconds until its first attempt there", c.Added.FirstUse)
+	row("instances that used such an endpoint", c.Added.Users)
+	say("%d endpoints left the list:", c.Removed.Endpoints)
+	row("seconds until an instance was told, after the first was", c.Removed.Notified)
+	row("failed attempts by those not yet told, at one endpoint", c.Removed.StaleFailures)
+	say("%d endpoints were bad in %d stretches of time:", c.Faults.Endpoints, c.Faults.Episodes)
+	row("seconds from the first failure to the last", c.Faults.Length)
+	row("failures in one stretch", c.Faults.Failures)
+	row("of them later than 2 s after the fleet's first", c.Faults.Late)
+	row("instances that met it", c.Faults.Instances)
+	row("failures that one instance met", c.Faults.PerInstance)
 	return err
 }
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -55,13 +55,13 @@
 var recordCache struct {
 	sync.Mutex
 	digest  string
-	stories []*accesslog.Story
+	stories []*accesslog.Operation
 	runs    []*accesslog.Run
 	from    int64
 }
 
 // readRecord reads a record, or returns the one that was read last.
-func readRecord(r *scenario.Replay) (operations []*accesslog.Story, runs []*accesslog.Run, from int64, err error) {
+func readRecord(r *scenario.Replay) (operations []*accesslog.Operation, runs []*accesslog.Run, from int64, err error) {
 	digest, err := digestFiles(r.From)
 	if err != nil {
 		return nil, nil, 0, err
@@ -80,7 +80,7 @@
 		if r.Align {
 			rec.Align()
 		}
-		recordCache.digest, recordCache.stories, recordCache.runs = digest, rec.Stories(), rec.Runs
+		recordCache.digest, recordCache.stories, recordCache.runs = digest, rec.Operations(), rec.Runs
 		recordCache.from, _ = rec.Span()
 	}
 	return recordCache.stories, recordCache.runs, recordCache.from, nil
@@ -169,7 +169,7 @@
 				Process:        processes[who],
 				Class:          class,
 				Tenant:         tenant,
-				Object:         q.Object,
+				Object:         q.ObjectHash,
 				StartedAt:      began,
 				IdempotencyKey: w.Uint64() | 1, Work: p.Classes[class].Draw(w)}
 			out[instance] = append(out[instance], x)
@@ -190,7 +190,7 @@
 // how they try again, and how long requests take while little is going on. All else is the base's. notes says what it
 // rests on.
 func FitScenario(base *scenario.Scenario, rec *accesslog.Recording) (s *scenario.Scenario, notes []string, err error) {
-	operations := rec.Stories()
+	operations := rec.Operations()
 	if len(operations) < 100 {
 		return nil, nil, fmt.Errorf("there are %d stories: too few to go by", len(operations))
 	}
@@ -250,7 +250,7 @@
 		for _, x := range operations {
 			q := x.First()
 			if q.Class == name && q.Verdict == accesslog.Served && q.Attempts == 1 && quiet(q.Arrived) {
-				took = append(took, float64(q.Took-q.Waited))
+				took = append(took, float64(q.Duration-q.QueueTime))
 			}
 		}
 		c := scenario.Class{Name: name, Share: round(float64(n[name]) / float64(len(operations))), Dist: "lognormal"}
@@ -288,12 +288,12 @@
 			continue
 		}
 		unserved++
-		if len(x.Tries) > 1 {
+		if len(x.Attempts) > 1 {
 			again++
 		}
-		most = max(most, len(x.Tries)-1)
-		for i := 1; i < len(x.Tries); i++ {
-			if wait := x.Tries[i].Arrived - x.Tries[i-1].End(); wait > 0 && i == 1 {
+		most = max(most, len(x.Attempts)-1)
+		for i := 1; i < len(x.Attempts); i++ {
+			if wait := x.Attempts[i].Arrived - x.Attempts[i-1].End(); wait > 0 && i == 1 {
 				waits = append(waits, float64(wait))
 			}
 		}
@@ -316,7 +316,7 @@
 		)
 	}
 	for _, x := range operations {
-		s.Clients.MarkRetries = s.Clients.MarkRetries || len(x.Tries) > 1 && x.Tries[1].Retry
+		s.Clients.MarkRetries = s.Clients.MarkRetries || len(x.Attempts) > 1 && x.Attempts[1].Retry
 	}
 	text, err := s.Text()
 	if err != nil {
@@ -340,7 +340,7 @@
 }
 
 // shapeOf tells how many times the mean the traffic was, over time.
-func rateShape(operations []*accesslog.Story, from, to int64) (shape []scenario.RatePoint) {
+func rateShape(operations []*accesslog.Operation, from, to int64) (shape []scenario.RatePoint) {
 	n := int(min(maxShapePoints, max(1, (to-from)/1_000_000)))
 	counts := make([]float64, n)
 	for _, s := range operations {
@@ -356,7 +356,7 @@
 }
 
 // quietest says of an instant whether it is in the third of the seconds in which the fewest stories began.
-func quietSeconds(operations []*accesslog.Story, from, to int64) func(at int64) bool {
+func quietSeconds(operations []*accesslog.Operation, from, to int64) func(at int64) bool {
 	counts := make([]int, (to-from)/1_000_000+1)
 	for _, s := range operations {
 		counts[(s.First().Arrived-from)/1_000_000]++
@@ -382,7 +382,7 @@
 		}
 	}
 	var now atomic.Int64 // of the run
-	h := accesslog.HasherOf([]byte("of no patient's: a model's"))
+	h := accesslog.NewHasherFromSecret([]byte("of no patient's: a model's"))
 	writer := func(n int) (*accesslog.Writer, error) {
 		for len(writers) <= n {
 			w, err := accesslog.NewWriter(accesslog.Options{
@@ -405,9 +405,9 @@
 	}
 	verdicts := map[engine.Verdict]string{
 		engine.Served:      accesslog.Served,
-		engine.Rejected:    accesslog.Refused,
-		engine.RateLimited: accesslog.Refused,
-		engine.TimedOut:    accesslog.Late,
+		engine.Rejected:    accesslog.Rejected,
+		engine.RateLimited: accesslog.Rejected,
+		engine.TimedOut:    accesslog.TimedOut,
 	}
 	return func(o *simulation.Options) {
 		o.Record = func(x *simulation.RequestRecord) {
@@ -417,20 +417,20 @@
 				return
 			}
 			r := accesslog.Row{
-				Arrived:  x.Arrived,
-				Took:     x.Duration,
-				Waited:   x.Response.QueueTime,
-				Patience: x.Timeout,
-				Client:   fmt.Sprint("process-", x.Process),
-				Class:    s.Classes[x.Class],
-				Verdict:  accesslog.Failed,
-				Endpoint: x.Response.Endpoint,
-				Attempts: int32(x.Response.Attempts),
-				Object:   h.Hash("object", fmt.Sprint(x.Object)),
-				Retry:    x.Retry,
+				Arrived:       x.Arrived,
+				Duration:      x.Duration,
+				QueueTime:     x.Response.QueueTime,
+				ClientTimeout: x.Timeout,
+				Client:        fmt.Sprint("process-", x.Process),
+				Class:         s.Classes[x.Class],
+				Verdict:       accesslog.Failed,
+				Endpoint:      x.Response.Endpoint,
+				Attempts:      int32(x.Response.Attempts),
+				ObjectHash:    h.Hash("object", fmt.Sprint(x.Object)),
+				Retry:         x.Retry,
 			}
 			if x.IdempotencyKey != 0 {
-				r.Key = h.Hash("key", fmt.Sprint(x.IdempotencyKey))
+				r.KeyHash = h.Hash("key", fmt.Sprint(x.IdempotencyKey))
 			}
 			if x.Tenant >= 0 {
 				r.Tenant = s.Tenants[x.Tenant]
@@ -439,7 +439,7 @@
 				r.Verdict = v
 			}
 			if x.ClientGone {
-				r.Verdict = accesslog.Left
+				r.Verdict = accesslog.Cancelled
 			}
 			w.Add(r)
 		}
--- a/internal/experiment/replay_test.go
+++ b/internal/experiment/replay_test.go
@@ -47,7 +47,7 @@
 			"%d tries of %d stories, %d in the record", was.Costs.ClientRequests, was.Operations, len(rec.Requests),
 		)
 	}
-	if got := len(rec.Stories()); math.Abs(float64(got)-float64(was.Operations)) > 0.01*float64(was.Operations) {
+	if got := len(rec.Operations()); math.Abs(float64(got)-float64(was.Operations)) > 0.01*float64(was.Operations) {
 		t.Errorf("%d stories are found in the record, %d there were", got, was.Operations)
 	}
 	play := func(nodes int) *measure.Result {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -8,8 +8,8 @@
 )
 
 // adminBackend answers operators' calls.
-func (s *sidecar) adminBackend() admin.Desk {
-	return admin.Desk{Ready: s.readiness, Figures: s.metrics, ByHand: s.setCordon, Log: s.log}
+func (s *sidecar) adminBackend() admin.Backend {
+	return admin.Backend{Ready: s.readiness, Metrics: s.metrics, SetCordon: s.setCordon, Log: s.log}
 }
 
 // readiness says whether this process takes clients, and if not, why.
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -30,7 +30,7 @@
 	case err != nil:
 		return err
 	case !known:
-		return admin.ErrUnknown
+		return admin.ErrUnknownEndpoint
 	}
 	s.lifecycle.cordonPeers.broadcast(set)
 	s.saveCordons(ctx)
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -37,14 +37,14 @@
 	for _, e := range got {
 		n[e.Kind]++
 		named := e.Endpoint == "s-1"
-		if e.Kind == eventlog.Dialed || e.Kind == eventlog.Closed {
+		if e.Kind == eventlog.ConnOpened || e.Kind == eventlog.ConnClosed {
 			named = e.Endpoint == addr
 		}
-		if !named && e.Kind != eventlog.Asked || e.At == 0 {
+		if !named && e.Kind != eventlog.DiscoveryPolled || e.At == 0 {
 			t.Errorf("%+v", e)
 		}
 	}
-	if n[eventlog.Sent] != 3 || n[eventlog.Ended] != 3 || n[eventlog.Told] != 1 || n[eventlog.Dialed] == 0 || n[eventlog.Closed] != n[eventlog.Dialed] || n[eventlog.Asked] == 0 {
+	if n[eventlog.AttemptStarted] != 3 || n[eventlog.AttemptEnded] != 3 || n[eventlog.EndpointUpdated] != 1 || n[eventlog.ConnOpened] == 0 || n[eventlog.ConnClosed] != n[eventlog.ConnOpened] || n[eventlog.DiscoveryPolled] == 0 {
 		t.Errorf("%v", n)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -200,7 +200,7 @@
 	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
-		return s.events.Dialed(addr, conn, err)
+		return s.events.ConnOpened(addr, conn, err)
 	}
 }
 
@@ -224,7 +224,7 @@
 func (s *sidecar) watchDiscovery(addr string, after int64) *discovery.Watcher {
 	w := discovery.NewWatcher(addr, after, s.config.MemoryMB, s.updateEndpoints, s.log)
 	if s.events != nil {
-		w.OnRequest = s.events.Asked
+		w.OnRequest = s.events.DiscoveryPolled
 	}
 	if !s.config.Site.Settings.Subscribe {
 		w.ResponseTimeout = agentAnswerTimeout
