--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -379,7 +379,7 @@
 		if err != nil {
 			return fmt.Errorf("scenario %s: %w", name, err)
 		}
-		if s.ByProcesses() {
+		if s.NeedsProcesses() {
 			fmt.Fprintf(w, "%-20s is played by processes only: dunlinlab faults %s\n", s.Name, s.Name)
 			continue
 		}
--- a/internal/experiment/processes/front.go
+++ b/internal/experiment/processes/front.go
@@ -34,7 +34,7 @@
 	e.mu.Unlock()
 	now := e.run.now()
 	for i := range e.run.plan.PlannedEvents {
-		if e.run.plan.PlannedEvents[i].Blocks(now, f.instance, e.index, back) {
+		if e.run.plan.PlannedEvents[i].BlocksPath(now, f.instance, e.index, back) {
 			return true
 		}
 	}
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -411,13 +411,13 @@
 	}
 	return func(o *simulation.Options) {
 		o.Record = func(x *simulation.RequestRecord) {
-			now.Store(max(now.Load(), x.Arrived+x.Duration))
+			now.Store(max(now.Load(), x.ArrivedAt+x.Duration))
 			w, err := writer(x.Instance)
 			if err != nil {
 				return
 			}
 			r := accesslog.Row{
-				Arrived:       x.Arrived,
+				Arrived:       x.ArrivedAt,
 				Duration:      x.Duration,
 				QueueTime:     x.Response.QueueTime,
 				ClientTimeout: x.Timeout,
--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -242,18 +242,18 @@
 		s.reply(balancer.Reset)
 		return
 	}
-	story := s.request.operation
+	op := s.request.operation
 	who, which := s.randKey()
-	class := &r.plan.Classes[story.run.planClass(story.Class)]
+	class := &r.plan.Classes[op.run.planClass(op.Class)]
 	draws := r.workRand.For(who, which)
 	s.job = simendpoint.Job{
-		Class:          story.Class,
-		Work:           simendpoint.DrawWork(draws, story.Work, class.Noise),
+		Class:          op.Class,
+		Work:           simendpoint.DrawWork(draws, op.Work, class.Noise),
 		IdempotencyKey: s.request.IdempotencyKey,
 		Chance:         r.faultRand.For(who, which).Float64(),
 		HostData:       s,
 	}
-	if story.class.Idempotency != balancer.IdempotentByKey {
+	if op.class.Idempotency != balancer.IdempotentByKey {
 		s.job.IdempotencyKey = 0
 	}
 	r.trace(s.request, s.engineAttempt.Number, r.plan.Endpoints[e.index].Name, "reaches")
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -98,14 +98,14 @@
 	t.changes++
 	lo := float64(after.From.Microseconds())
 	hi := float64(after.To.Microseconds())
-	heard := r.now + monotime.Micros(lo+(hi-lo)*t.random.For(uint64(n), t.changes).Float64()) + t.extraDelay
-	heard = max(heard, t.lastChangeAt[n]+1) // its messages keep their order
-	t.lastChangeAt[n] = heard
+	arrivesAt := r.now + monotime.Micros(lo+(hi-lo)*t.random.For(uint64(n), t.changes).Float64()) + t.extraDelay
+	arrivesAt = max(arrivesAt, t.lastChangeAt[n]+1) // its messages keep their order
+	t.lastChangeAt[n] = arrivesAt
 	m := t.endpointInfo(n, state)
 	if state == balancer.Ready {
 		m.StartedAt = clockOrigin + r.now
 	}
-	r.events.push(heard, discoveryNotified, uint32(n), m)
+	r.events.push(arrivesAt, discoveryNotified, uint32(n), m)
 }
 
 // publish records an endpoint's new state and sends it to the subscribed instances.
--- a/internal/simulation/endpoint.go
+++ b/internal/simulation/endpoint.go
@@ -44,7 +44,7 @@
 	fell := e.model.Collapsed()
 	v := e.model.Arrive(e.run.now, j)
 	if len(e.run.endpoints) <= maxEndpointsWithArrivals {
-		at := int(e.run.now / e.run.meter.Bin())
+		at := int(e.run.now / e.run.meter.BinWidth())
 		for len(e.arrivals) <= at {
 			e.arrivals = append(e.arrivals, 0)
 		}
@@ -91,13 +91,13 @@
 	m := &e.run.meter.Costs
 	m.ExecutedWork += float64(x.Job.Work)
 	e.executions++
-	story := s.request.operation
-	story.Executions++
+	op := s.request.operation
+	op.Executions++
 	s.held = false
 	if x.Effect {
-		story.Effects++
+		op.Effects++
 		s.request.effects++
-		if story.class.Idempotency != balancer.Idempotent && story.Effects > 1 {
+		if op.class.Idempotency != balancer.Idempotent && op.Effects > 1 {
 			if s.request.effects > 1 {
 				m.DuplicateEffects++
 			} else {
--- a/internal/simulation/fleetmessages.go
+++ b/internal/simulation/fleetmessages.go
@@ -54,7 +54,7 @@
 	if !ok || err != nil || n < 0 || n >= len(r.instances) {
 		return // one that this run does not have
 	}
-	if times := r.plan.DemandFactor(r.now); times != 1 && w.Request != nil && in.index == len(r.instances)-1 {
+	if times := r.plan.DemandOverstatement(r.now); times != 1 && w.Request != nil && in.index == len(r.instances)-1 {
 		for i := range w.Request.Demands {
 			w.Request.Demands[i].Requested *= times
 			w.Request.Demands[i].Contributed *= times
--- a/internal/simulation/measure/arrivals.go
+++ b/internal/simulation/measure/arrivals.go
@@ -31,7 +31,7 @@
 	faultsFrom, faultsUntil monotime.Micros // when what goes wrong begins, and has ended
 }
 
-// RecordArrival tells what came at an endpoint at an instant.
+// RecordArrival counts what came at an endpoint at an instant.
 func (m *Meter) RecordArrival(now monotime.Micros, node int, what Arrival) {
 	a := &m.arrivals
 	n := now / second
--- a/internal/simulation/measure/figures.go
+++ b/internal/simulation/measure/figures.go
@@ -39,18 +39,17 @@
 	{"waste", "endpoints' work without an answer that a client took, of all work asked for", "", -1, 0.005, false},
 	{"late_fail", "worth that was unserved past its aim", "", -1, 0.002, false},
 	{"further_peak",
-		"further attempts for each first one that reached endpoints, in the worst second of a hundred first ones or more",
-		"",
-		-1,
-		0.01,
-		false,
+		"further attempts for each first one that reached endpoints, " +
+			"in the worst second of a hundred first ones or more",
+		"", -1, 0.01, false,
 	},
 	{"probes_peak", "probes a second at one endpoint, in the worst second of any", "", -1, 1, false},
 	{"probes_first", "probes for each first attempt", "", -1, 0.02, false},
 	{"dials_peak", "new connections a second at one endpoint, in the worst second of any", "", -1, 1, false},
 	{
 		"back",
-		"service from 3 s after the last of what goes wrong has ended, against that before the first began; 1 at the most",
+		"service from 3 s after the last of what goes wrong has ended, " +
+			"against that before the first began; 1 at the most",
 		"", 1, 0.01, false,
 	},
 	{"of_could", "worth served within the aim, of what the endpoints' work could have served at best", "", 1, 0.01,
--- a/internal/simulation/measure/meter.go
+++ b/internal/simulation/measure/meter.go
@@ -20,7 +20,7 @@
 
 const second monotime.Micros = 1_000_000
 
-// Criteria is by what a run is judged.
+// Criteria are what a run is evaluated by.
 type Criteria struct {
 	Classes         []balancer.Class  // in the order of the operations' classes
 	Tenants         []balancer.Tenant // in the order of the operations' tenants
@@ -143,8 +143,8 @@
 	return m
 }
 
-// Bin is how long the bins of the series are.
-func (m *Meter) Bin() monotime.Micros { return m.binWidth }
+// BinWidth is the length of a bin of the series.
+func (m *Meter) BinWidth() monotime.Micros { return m.binWidth }
 
 // Weight is what an operation weighs, which is settled as it begins: beyond its tenant's allowance it weighs less.
 func (m *Meter) Weight(s *simclient.Operation) (weight float64, within bool) {
--- a/internal/simulation/measure/priorityaudit.go
+++ b/internal/simulation/measure/priorityaudit.go
@@ -23,7 +23,7 @@
 	seconds     [][]classWork
 }
 
-// SetEnvironment tells what the run's endpoints and instances could do.
+// SetEnvironment sets what the run's endpoints and instances could do.
 func (m *Meter) SetEnvironment(w Environment) {
 	m.priorityAudit = &priorityAudit{environment: w, seconds: make([][]classWork, len(m.seconds))}
 	for i := range m.priorityAudit.seconds {
--- a/internal/simulation/measure/quotaspending.go
+++ b/internal/simulation/measure/quotaspending.go
@@ -9,7 +9,7 @@
 // quotaSpending is what instances spent of the fleet's budgets, by budget: the instants of units.
 type quotaSpending map[string][]monotime.Micros
 
-// QuotaSpent tells that an instance spent a unit of a budget.
+// QuotaSpent records that an instance spent a unit of a budget.
 func (m *Meter) QuotaSpent(now monotime.Micros, budget string) {
 	if m.quotaSpending == nil {
 		m.quotaSpending = quotaSpending{}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -70,7 +70,7 @@
 // pathBlocked says whether nothing comes through between an instance and an endpoint, towards the endpoint or back.
 func (r *run) pathBlocked(in *instance, e *endpoint, back bool) bool {
 	for _, i := range r.blockingEvents {
-		if r.plan.PlannedEvents[i].Blocks(r.now, in.index, e.index, back) {
+		if r.plan.PlannedEvents[i].BlocksPath(r.now, in.index, e.index, back) {
 			return true
 		}
 	}
--- a/internal/simulation/operation.go
+++ b/internal/simulation/operation.go
@@ -37,8 +37,8 @@
 }
 
 // clientDraws returns the random numbers for one request of a client.
-func (r *run) clientDraws(s *simclient.Operation, try int) *rand.Rand {
-	return r.clientRand.For(s.ID, uint64(try))
+func (r *run) clientDraws(s *simclient.Operation, draw int) *rand.Rand {
+	return r.clientRand.For(s.ID, uint64(draw))
 }
 
 func (r *run) startOperation(in *instance) {
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -116,7 +116,7 @@
 		IdempotencyKey: t.IdempotencyKey,
 		Object:         s.Object,
 		Retry:          t.Retry,
-		Arrived:        arrived,
+		ArrivedAt:      arrived,
 		Duration:       in.localTime() - arrived,
 		Timeout:        t.call.Request.Deadline - arrived,
 		ClientGone:     left,
--- a/internal/simulation/scenario/operations.go
+++ b/internal/simulation/scenario/operations.go
@@ -15,7 +15,7 @@
 	Operations(instance int) func() (simclient.Operation, bool)
 }
 
-// RateFactor is the shape of the traffic at an instant.
+// RateFactor is the traffic at an instant, as a multiple of Plan.Rate.
 func (p *Plan) RateFactor(at monotime.Micros) float64 {
 	if len(p.Shape) == 0 {
 		return 1
--- a/internal/simulation/scenario/parse.go
+++ b/internal/simulation/scenario/parse.go
@@ -47,15 +47,15 @@
 	}
 }
 
-// ByProcesses says whether what the scenario claims is of something that the simulation does not play.
-func (s *Scenario) ByProcesses() bool {
+// NeedsProcesses says whether what the scenario claims is of something that the simulation does not play.
+func (s *Scenario) NeedsProcesses() bool {
 	return slices.ContainsFunc(s.Events, func(e Event) bool { return e.What == "work" })
 }
 
 // Finder returns the text of a scenario that another is based on, by its name.
 type Finder func(name string) ([]byte, error)
 
-// Parse checks a file's text. Its error is strict.Errors, or what find returns of the scenario that it is based on.
+// Parse checks a file's text. Its error is stricttoml.Errors, or what find returns of the scenario that it is based on.
 func Parse(text []byte, find Finder) (*Scenario, error) {
 	s := defaults()
 	if err := s.overlay(text, find, 0); err != nil {
--- a/internal/simulation/scenario/plannedevent.go
+++ b/internal/simulation/scenario/plannedevent.go
@@ -38,8 +38,9 @@
 	return min(h.Until, h.At+(turn+1)*h.Every), turn%2 == 0
 }
 
-// Blocks says whether it lets nothing through between an instance and an endpoint, towards the endpoint or back.
-func (h *PlannedEvent) Blocks(now monotime.Micros, instance, node int, back bool) bool {
+// BlocksPath reports whether the event lets nothing through between an instance and an endpoint, towards the endpoint
+// or back.
+func (h *PlannedEvent) BlocksPath(now monotime.Micros, instance, node int, back bool) bool {
 	return h.What == "sever" && now >= h.At && now < h.Until && (h.Way == "" || (h.Way == "from") == back) &&
 		contains(h.Instances, instance) && contains(h.Endpoints, node)
 }
@@ -63,8 +64,8 @@
 	return false
 }
 
-// DemandFactor is how many times what it wants the liar says that it does at an instant; 1 without one.
-func (p *Plan) DemandFactor(now monotime.Micros) float64 {
+// DemandOverstatement is the factor by which the lying instance overstates its demand at an instant; 1 without one.
+func (p *Plan) DemandOverstatement(now monotime.Micros) float64 {
 	for i := range p.PlannedEvents {
 		if h := &p.PlannedEvents[i]; h.What == "liar" && now >= h.At && now < h.Until {
 			return h.Sizes[0]
--- a/internal/simulation/scenario/scenario.go
+++ b/internal/simulation/scenario/scenario.go
@@ -35,7 +35,7 @@
 	Expect []string `toml:"expect,omitempty"`
 }
 
-// Fleet is the instances.
+// Fleet describes the instances.
 type Fleet struct {
 	Zones     []string `toml:"zones"`
 	Instances int      `toml:"instances"`
@@ -76,7 +76,7 @@
 	Drift float64             `toml:"drift,omitempty"` // either way, at most, as a part of time
 }
 
-// EndpointKind are endpoints of one kind.
+// EndpointKind describes the endpoints of one kind.
 type EndpointKind struct {
 	Kind           string              `toml:"kind,omitempty"`
 	Count          int                 `toml:"count,omitempty"`
@@ -124,7 +124,7 @@
 	Share float64 `toml:"share,omitempty"` // of the traffic
 }
 
-// Clients are who asks.
+// Clients describes the clients and their traffic.
 type Clients struct {
 	Load            float64          `toml:"load,omitempty"` // of what all nodes can do once warm; or
 	Rate            float64          `toml:"rate,omitempty"` // operations a second
@@ -240,7 +240,8 @@
 	// an operator has them taken out for work, delay each, in real runs of instances that settle the order
 	"work": {true, ""},
 	"liar": {false,
-		"times what it wants that an instance says, in the model the last; in real runs it is one more that serves nobody",
+		"times what it wants that an instance says, in the model the last; " +
+			"in real runs it is one more that serves nobody",
 	},
 	"limits": {false, "times the tenants' limits in the files of instances, read again while they serve"},
 	"part":   {false, ""}, // no message passes between instances and the others; every: on and off
--- a/internal/simulation/simclient/operation.go
+++ b/internal/simulation/simclient/operation.go
@@ -11,7 +11,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Behavior are how clients behave.
+// Behavior says how clients behave.
 type Behavior struct {
 	Retries      [2]int     // a client requests again so many times at most, drawn between these
 	TimeoutShare [2]float64 // and waits for each request this part of all the time it has
@@ -58,7 +58,7 @@
 // Outcome is how an operation ended.
 type Outcome uint8
 
-// The outcomes.
+// The outcomes of an operation.
 const (
 	Pending      Outcome = iota
 	Served               // an answer came
@@ -69,7 +69,7 @@
 // RequestOutcome is how one request ended.
 type RequestOutcome uint8
 
-// The verdicts.
+// The outcomes of a request.
 const (
 	OK         RequestOutcome = iota
 	Rejected                  // trying again is harmless
--- a/internal/simulation/simendpoint/endpoint_test.go
+++ b/internal/simulation/simendpoint/endpoint_test.go
@@ -9,19 +9,39 @@
 	"dunlinsail/internal/monotime"
 )
 
+// drain advances an endpoint until it holds no job, and passes each that ends to over.
+func drain(t *rapid.T, n *Endpoint, over func(j *Job, how string)) {
+	t.Helper()
+	for i := 0; n.InFlight() > 0; i++ {
+		at, ok := n.NextCompletion()
+		if !ok || i > 1000 {
+			t.Fatalf("%d requests are held and none ends", n.InFlight())
+		}
+		for _, e := range n.Advance(at) {
+			over(e.Job, "ended")
+		}
+	}
+}
+
+// drawConfig draws an endpoint of a few cores that warms up.
+func drawConfig(t *rapid.T) Config {
+	t.Helper()
+	return Config{
+		Cores:          rapid.IntRange(1, 4).Draw(t, "cores"),
+		Speed:          rapid.Float64Range(0.3, 2).Draw(t, "speed"),
+		QueueCapacity:  rapid.IntRange(0, 5).Draw(t, "queue"),
+		Cancellation:   Cancellation(rapid.IntRange(0, 2).Draw(t, "cancel")),
+		ErrorRate:      0.1,
+		WarmupFrom:     0.2,
+		WarmupDuration: second,
+	}
+}
+
 // Whatever comes, each request that an endpoint takes ends once, it works at no more than its cores allow, and in time
 // it does no more work than it can.
 func TestEachRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{
-			Cores:          rapid.IntRange(1, 4).Draw(t, "cores"),
-			Speed:          rapid.Float64Range(0.3, 2).Draw(t, "speed"),
-			QueueCapacity:  rapid.IntRange(0, 5).Draw(t, "queue"),
-			Cancellation:   Cancellation(rapid.IntRange(0, 2).Draw(t, "cancel")),
-			ErrorRate:      0.1,
-			WarmupFrom:     0.2,
-			WarmupDuration: second,
-		}
+		c := drawConfig(t)
 		n := New(c, NewDedupGroup(400_000))
 		now := monotime.Micros(0)
 		n.Start(now, rapid.Bool().Draw(t, "warm"))
@@ -79,15 +99,7 @@
 		if can := float64(now) * c.Speed * float64(c.Cores); done > can+float64(c.Cores*60_000) {
 			t.Fatalf("%v of work done, at most %v could be", done, can)
 		}
-		for i := 0; n.InFlight() > 0; i++ {
-			at, ok := n.NextCompletion()
-			if !ok || i > 1000 {
-				t.Fatalf("%d requests are held and none ends", n.InFlight())
-			}
-			for _, e := range n.Advance(at) {
-				over(e.Job, "ended")
-			}
-		}
+		drain(t, n, over)
 	})
 }
 
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -29,7 +29,7 @@
 
 const second monotime.Micros = 1_000_000
 
-// Version changes when the same plan and settings would come to something else by this package's doing.
+// Version is increased when a change to this package changes the result of the same plan and settings.
 const Version = 2
 
 // Settings are what a fleet runs on.
@@ -39,7 +39,7 @@
 	RetryBudget    float64              // of the pool
 	Subset         *subset.Settings     // of each instance: place and number are filled in; nil is none
 	Overload       *overload.Settings   // of each instance: their number is filled in; nil is none
-	Coordination   *engine.Coordination // of each: who it is and who carries words are filled in; nil is none
+	Coordination   *engine.Coordination // of each: its name and transport are filled in; nil is none
 	MaxConnections int                  // to endpoints, of an instance; 0 is no bound
 	Clients        connlimit.Limits
 	Client         fairqueue.ClientSpec // what each client process may do
@@ -51,17 +51,17 @@
 	KnownHarm float64
 }
 
-// Options say how a run is played.
+// Options are the inputs and callbacks of a run.
 type Options struct {
 	Plan     *scenario.Plan
 	Settings *Settings
 	// its classes and tenants, by name, are those of the plan
 	Criteria measure.Criteria
-	// told of what happens to operations, for those who look for a cause; may be nil
+	// called at each step of an operation, to trace causes; may be nil
 	Trace func(Trace)
-	// told of each request that an instance took, once it is over; may be nil
+	// called with each request that an instance took, once it has ended; may be nil
 	Record   func(x *RequestRecord)
-	Log      func(at monotime.Micros, instance int, line string) // told of what instances log; may be nil
+	Log      func(at monotime.Micros, instance int, line string) // called with what instances log; may be nil
 	Progress func(at monotime.Micros)
 }
 
@@ -83,7 +83,7 @@
 	Class, Tenant          int // places among the criteria's; no tenant is -1
 	IdempotencyKey, Object uint64
 	Retry                  bool
-	Arrived                monotime.Micros // the instance's clock
+	ArrivedAt              monotime.Micros // the instance's clock
 	Duration               monotime.Micros
 	Timeout                monotime.Micros
 	ClientGone             bool // its client went before its answer
@@ -123,7 +123,7 @@
 	fleetMessages                               uint64
 }
 
-// Run plays a plan, or returns the error of settings that do not fit it. When ctx ends it returns its cause.
+// Run simulates a plan, or returns the error of settings that do not fit it. When ctx ends it returns its cause.
 func Run(ctx context.Context, o Options) (*measure.Result, error) {
 	startedAt := time.Now()
 	r := &run{options: o, plan: o.Plan, settings: o.Settings, behavior: o.Plan.ClientBehavior()}
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -60,30 +60,35 @@
 silent = "2s"
 `
 
+func testClasses() []balancer.Class {
+	return []balancer.Class{
+		{Name: "look", LatencyObjective: 200_000, ClientTimeout: 500_000, PriorityWeight: 1},
+		{
+			Name:             "book",
+			Idempotency:      balancer.IdempotentByKey,
+			DedupScope:       balancer.DedupCell,
+			DedupWindow:      400_000,
+			LatencyObjective: 250_000,
+			ClientTimeout:    600_000,
+			PriorityWeight:   3,
+		},
+		{
+			Name:             "sell",
+			Idempotency:      balancer.NonIdempotent,
+			LatencyObjective: 250_000,
+			ClientTimeout:    600_000,
+			PriorityWeight:   3,
+		},
+	}
+}
+
 func testSettings() *Settings {
 	s := balancer.Settings{
 		Balancers:       3,
 		LoadMetrics:     []balancer.LoadMetric{balancer.MetricInflight},
 		OverQuotaWeight: 0.1,
-		Classes: []balancer.Class{
-			{Name: "look", LatencyObjective: 200_000, ClientTimeout: 500_000, PriorityWeight: 1},
-			{
-				Name:             "book",
-				Idempotency:      balancer.IdempotentByKey,
-				DedupScope:       balancer.DedupCell,
-				DedupWindow:      400_000,
-				LatencyObjective: 250_000,
-				ClientTimeout:    600_000,
-				PriorityWeight:   3,
-			},
-			{
-				Name:             "sell",
-				Idempotency:      balancer.NonIdempotent,
-				LatencyObjective: 250_000,
-				ClientTimeout:    600_000,
-				PriorityWeight:   3,
-			}},
-		Tenants: []balancer.Tenant{{Name: "p", Quota: 1000, Share: 1}},
+		Classes:         testClasses(),
+		Tenants:         []balancer.Tenant{{Name: "p", Quota: 1000, Share: 1}},
 		Limits: balancer.Limits{
 			Cancel:          true,
 			Probes:          true,
@@ -187,9 +192,10 @@
 // time, and no rule is broken.
 func TestEachOperationEnds(t *testing.T) {
 	for name, events := range map[string]string{
-		"calm":    "",
-		"slow":    "[[event]]\nwhat = \"slow\"\nat = \"3s\"\nfor = \"5s\"\npart = [0.5]\nsize = [8.0]\n",
-		"errors":  "[[event]]\nwhat = \"errors\"\nat = \"3s\"\nfor = \"5s\"\npart = [0.5]\nsize = [0.9]\nclass = \"book\"\n",
+		"calm": "",
+		"slow": "[[event]]\nwhat = \"slow\"\nat = \"3s\"\nfor = \"5s\"\npart = [0.5]\nsize = [8.0]\n",
+		"errors": "[[event]]\nwhat = \"errors\"\nat = \"3s\"\nfor = \"5s\"\n" +
+			"part = [0.5]\nsize = [0.9]\nclass = \"book\"\n",
 		"mute":    "[[event]]\nwhat = \"mute\"\nat = \"3s\"\nfor = \"5s\"\npart = [0.5]\nsize = [0.5]\n",
 		"roll":    "[[event]]\nwhat = \"rolling\"\nat = \"2s\"\nevery = \"1500ms\"\n",
 		"vanish":  "[[event]]\nwhat = \"vanish\"\nat = \"3s\"\nfor = \"4s\"\nzone = \"y\"\n",
@@ -197,11 +203,13 @@
 		"restart": "[[event]]\nwhat = \"restart\"\nat = \"3s\"\nfor = \"1s\"\n",
 		"power":   "[[event]]\nwhat = \"power\"\nat = \"3s\"\nfor = \"1s\"\n",
 		"surge":   "[[event]]\nwhat = \"surge\"\nat = \"3s\"\nfor = \"4s\"\nsize = [5.0]\n",
-		"silent":  "[[event]]\nwhat = \"silent\"\nat = \"2s\"\nfor = \"6s\"\n[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"2s\"\ncount = 2\n",
-		"pause":   "[[event]]\nwhat = \"pause\"\nat = \"3s\"\nfor = \"300ms\"\n",
-		"nobody":  "[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"3s\"\n",
-		"clocks":  "[clocks]\nskew = \"2s\"\ndrift = 0.0005\n[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"2s\"\npart = [0.5]\n",
-		"lossy":   "[network]\nloss = 0.02\nretransmit = \"50ms\"\n",
+		"silent": "[[event]]\nwhat = \"silent\"\nat = \"2s\"\nfor = \"6s\"\n" +
+			"[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"2s\"\ncount = 2\n",
+		"pause":  "[[event]]\nwhat = \"pause\"\nat = \"3s\"\nfor = \"300ms\"\n",
+		"nobody": "[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"3s\"\n",
+		"clocks": "[clocks]\nskew = \"2s\"\ndrift = 0.0005\n" +
+			"[[event]]\nwhat = \"kill\"\nat = \"3s\"\nfor = \"2s\"\npart = [0.5]\n",
+		"lossy": "[network]\nloss = 0.02\nretransmit = \"50ms\"\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
