--- a/internal/accesslog/operations.go
+++ b/internal/accesslog/operations.go
@@ -31,10 +31,11 @@
 	object                                 uint64
 }
 
-// Operations groups the attempts of each operation: a better variant must not be fed the retries that a worse one made
-// clients make. Tries with a key belong together by it, whichever instance they came to. Others do where the same client
-// asks for the same object again soon after a try that was not served; where objects are not told, only if the client marks
-// its retries. A client may in truth ask anew by chance: what is taken for a retry then is missing.
+// Operations groups the attempts of each operation: a better variant must not be fed the retries that a worse one
+// made clients make. Tries with a key belong together by it, whichever instance they came to. Others do where the
+// same client asks for the same object again soon after a try that was not served; where objects are not told, only
+// if the client marks its retries. A client may in truth ask anew by chance: what is taken for a retry then is
+// missing.
 func (rec *Recording) Operations() []*Operation {
 	var all []*Operation
 	byKey := map[uint64]*Operation{}
--- a/internal/accesslog/record_test.go
+++ b/internal/accesslog/record_test.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// A disk that takes nothing costs rows, which are counted and told, and holds nobody up; when it takes something again the
-// record goes on. The oldest segments go where they are too many, and none of another instance.
+// A disk that takes nothing costs rows, which are counted and told, and holds nobody up; when it takes something
+// again the record goes on. The oldest segments go where they are too many, and none of another instance.
 func TestDiskThatTakesNothing(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "record")
 	w := writer(t, Options{Dir: dir, Instance: "a", Rows: 10, Keep: 8000})
@@ -257,8 +257,8 @@
 	}
 }
 
-// A step of the system's clock moves no row, and is told; of an instance whose clock was wrong the requests are put where
-// they belong.
+// A step of the system's clock moves no row, and is told; of an instance whose clock was wrong the requests are put
+// where they belong.
 func TestClocks(t *testing.T) {
 	dir := t.TempDir()
 	base := time.UnixMilli(1_700_000_000_000)
@@ -299,8 +299,8 @@
 	}
 }
 
-// Tries belong together by their key, wherever they came to, or by client and object after one that was not served; what
-// follows a served one, or comes late, is a story of its own.
+// Tries belong together by their key, wherever they came to, or by client and object after one that was not served;
+// what follows a served one, or comes late, is a story of its own.
 func TestOperations(t *testing.T) {
 	rec := &Recording{}
 	const ms = 1000
@@ -334,7 +334,8 @@
 	}
 }
 
-// A sample has all tries for one thing or none, about as many as it says; hashes are the same for the same secret only.
+// A sample has all tries for one thing or none, about as many as it says; hashes are the same for the same secret
+// only.
 func TestSampleAndHashes(t *testing.T) {
 	dir := t.TempDir()
 	secret := func(name, text string) *Hasher {
--- a/internal/accesslog/recording.go
+++ b/internal/accesslog/recording.go
@@ -206,8 +206,8 @@
 	slices.SortStableFunc(rec.Requests, func(a, b Request) int { return cmp.Compare(a.Arrived, b.Arrived) })
 }
 
-// sealed is for how long a segment may rest before it is written, in microseconds: a clock that is ahead by less may be
-// right.
+// sealed is for how long a segment may rest before it is written, in microseconds: a clock that is ahead by less may
+// be right.
 const maxSegmentDelay = 60_000_000
 
 // Check tells what a recording lacks, for whoever wants to play it again.
--- a/internal/accesslog/row.go
+++ b/internal/accesslog/row.go
@@ -1,9 +1,11 @@
-// Package accesslog keeps an access record: what clients asked an instance for, when, and what became of it, to be looked at
-// and to be played again in the fleet's model. It holds no patient's data: a path is told by the name of its route, and keys
-// and objects as keyed hashes, by a secret that the operators hold. It knows rows, and nothing of HTTP or of decisions.
+// Package accesslog keeps an access record: what clients asked an instance for, when, and what became of it, to be
+// looked at and to be played again in the fleet's model. It holds no patient's data: a path is told by the name of
+// its route, and keys and objects as keyed hashes, by a secret that the operators hold. It knows rows, and nothing of
+// HTTP or of decisions.
 //
-// A record is a folder of segments. Each is a file of its own in Apache Parquet, whole or not there: it is written beside
-// its name, synced, and then named. What a process holds that dies is lost, and the numbers of the rows show that.
+// A record is a folder of segments. Each is a file of its own in Apache Parquet, whole or not there: it is written
+// beside its name, synced, and then named. What a process holds that dies is lost, and the numbers of the rows show
+// that.
 package accesslog
 
 import (
@@ -86,8 +88,8 @@
 	return max(1, binary.BigEndian.Uint64(m.Sum(nil)))
 }
 
-// Sampled says whether a request belongs to a sample of a part: by its key or, without one, its object, so that all tries
-// for one thing are in it or none is; by its number where it has neither.
+// Sampled says whether a request belongs to a sample of a part: by its key or, without one, its object, so that all
+// tries for one thing are in it or none is; by its number where it has neither.
 func Sampled(r *Row, part float64) bool {
 	if part >= 1 {
 		return true
--- a/internal/accesslog/writer.go
+++ b/internal/accesslog/writer.go
@@ -98,7 +98,8 @@
 	return pid == os.Getpid() || syscall.Kill(pid, 0) == nil
 }
 
-// NewWriter starts a writer in a folder, which it makes if need be. Files that a process left half written are removed.
+// NewWriter starts a writer in a folder, which it makes if need be. Files that a process left half written are
+// removed.
 func NewWriter(o Options) (*Writer, error) {
 	if o.Now == nil {
 		o.Now = time.Now
--- a/internal/admin/connlimiter.go
+++ b/internal/admin/connlimiter.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// connLimiter bounds the connections: the one that has waited longest without a complete call is closed for the next. If
-// all calls are being served, the next connection waits in the socket's queue.
+// connLimiter bounds the connections: the one that has waited longest without a complete call is closed for the next.
+// If all calls are being served, the next connection waits in the socket's queue.
 type connLimiter struct {
 	net.Listener
 
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -1,6 +1,6 @@
-// Package admin serves the HTTP calls of on-call staff: readiness, metrics, cordons, members and maintenance. It keeps no
-// state of its own and must not import the engines or the servers of clients: a Backend carries the calls out. Each call
-// is answered in time, however busy the process is.
+// Package admin serves the HTTP calls of on-call staff: readiness, metrics, cordons, members and maintenance. It
+// keeps no state of its own and must not import the engines or the servers of clients: a Backend carries the calls
+// out. Each call is answered in time, however busy the process is.
 package admin
 
 import (
@@ -32,16 +32,18 @@
 // ErrUnknownEndpoint means that no endpoint has the target id.
 var ErrUnknownEndpoint = errors.New("no endpoint has this id")
 
-// Backend is the process that the calls are about. Its functions are called concurrently and must return when ctx ends.
+// Backend is the process that the calls are about. Its functions are called concurrently and must return when ctx
+// ends.
 type Backend struct {
 	Ready   func() (ready bool, reason string)
 	Metrics func(ctx context.Context) (text []byte, err error)
-	// SetCordon cordons an endpoint or lifts its cordon, and returns once that holds; ErrUnknownEndpoint: there is none.
+	// SetCordon cordons an endpoint or lifts its cordon, and returns once that holds; ErrUnknownEndpoint: there is
+	// none.
 	SetCordon func(ctx context.Context, target string, out bool) error
 	// Members returns the known members of the fleet as JSON; nil: not served here.
 	Members func(ctx context.Context) (text []byte, err error)
-	// Maintenance sends a request about machines under maintenance, or without a body returns their state, as JSON; nil:
-	// not served here.
+	// Maintenance sends a request about machines under maintenance, or without a body returns their state, as JSON;
+	// nil: not served here.
 	Maintenance func(ctx context.Context, body []byte) (text []byte, err error)
 	Log         *slog.Logger
 }
--- a/internal/eventlog/analyze.go
+++ b/internal/eventlog/analyze.go
@@ -9,8 +9,8 @@
 
 const second monotime.Micros = 1_000_000
 
-// The bounds by which an endpoint counts as bad for a stretch of time: so many failures of so many attempts, by the whole
-// fleet, within two seconds. No instance sees that; it is what the count is for.
+// The bounds by which an endpoint counts as bad for a stretch of time: so many failures of so many attempts, by the
+// whole fleet, within two seconds. No instance sees that; it is what the count is for.
 const (
 	faultWindow       = 2 * second
 	faultMinAttempts  = 5
@@ -231,7 +231,8 @@
 	return v
 }
 
-// lives counts how changes of the list reached the fleet. What was told within a second of the fleet's start was there before.
+// lives counts how changes of the list reached the fleet. What was told within a second of the fleet's start was
+// there before.
 func propagation(list []*endpointHistory, begin monotime.Micros) (came, left Propagation) {
 	var cameTold, leftTold, used, users, unknowing []float64
 	for _, o := range list {
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -1,6 +1,6 @@
-// Package eventlog writes down what one instance does at its endpoints and at discovery, a line each, and counts the lines of
-// a whole fleet: what is harmless in one instance may not be in eighty. It decides nothing, and may not know protocols or
-// sockets. events.go holds the lines, count.go what is counted of them, report.go how that is told.
+// Package eventlog writes down what one instance does at its endpoints and at discovery, a line each, and counts the
+// lines of a whole fleet: what is harmless in one instance may not be in eighty. It decides nothing, and may not know
+// protocols or sockets. events.go holds the lines, count.go what is counted of them, report.go how that is told.
 package eventlog
 
 import (
@@ -59,8 +59,8 @@
 	return fmt.Sprintf("%s%d %s %s %s %s %d", linePrefix, e.At, e.Kind, word(e.Endpoint), word(e.Addr), word(e.Status), e.Latency)
 }
 
-// Parse reads a line. What stands before the event, as a time that a collector of logs puts there, is passed over; ok says
-// whether there is an event, and err what is wrong with it.
+// Parse reads a line. What stands before the event, as a time that a collector of logs puts there, is passed over; ok
+// says whether there is an event, and err what is wrong with it.
 func Parse(line string) (e Event, ok bool, err error) {
 	at := strings.Index(line, linePrefix)
 	if at < 0 {
@@ -101,8 +101,8 @@
 	return all, in.Err()
 }
 
-// Log writes events. It is engine.Observer and is told of connections and calls of discovery beside that. Its methods may
-// be called side by side.
+// Log writes events. It is engine.Observer and is told of connections and calls of discovery beside that. Its methods
+// may be called side by side.
 type Log struct {
 	now    func() monotime.Micros
 	mu     sync.Mutex
@@ -141,7 +141,8 @@
 	l.write(Event{At: now, Kind: ProbeEnded, Endpoint: endpoint, Status: statusNames[s], Latency: latency})
 }
 
-// EndpointsUpdated notes an update of the endpoint list, an event for each entry. What a full list leaves out is not noted.
+// EndpointsUpdated notes an update of the endpoint list, an event for each entry. What a full list leaves out is not
+// noted.
 func (l *Log) EndpointsUpdated(now monotime.Micros, t engine.EndpointUpdate) {
 	for _, m := range t.Endpoints {
 		l.write(Event{At: now, Kind: EndpointUpdated, Endpoint: m.Name, Addr: m.Addr, Status: stateNames[m.State]})
@@ -160,7 +161,8 @@
 	return "failed"
 }
 
-// ConnOpened notes a connection that was opened to an address, or was not, and returns it such that its close is noted.
+// ConnOpened notes a connection that was opened to an address, or was not, and returns it such that its close is
+// noted.
 func (l *Log) ConnOpened(addr string, c net.Conn, err error) (net.Conn, error) {
 	l.write(Event{Kind: ConnOpened, Endpoint: addr, Status: outcome(err == nil)})
 	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
--- a/internal/eventlog/events_test.go
+++ b/internal/eventlog/events_test.go
@@ -11,7 +11,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// What is written is read again, among other lines and behind a collector's time; half a line is an error that names it.
+// What is written is read again, among other lines and behind a collector's time; half a line is an error that names
+// it.
 func TestEventsSurviveWriteAndRead(t *testing.T) {
 	var out bytes.Buffer
 	l := NewLog(&out, func() monotime.Micros { return 7 })
--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -70,7 +70,8 @@
 	return c, leftMs, balancer.OK
 }
 
-// release ends an attempt's use of a connection, which is kept if the exchange on it is complete and it was not aborted.
+// release ends an attempt's use of a connection, which is kept if the exchange on it is complete and it was not
+// aborted.
 func (p *Pool) release(c *Conn, t *core.AttemptContext, keep bool) {
 	if t.ReleaseConn != nil && !t.ReleaseConn() {
 		keep = false
@@ -184,9 +185,9 @@
 	closeAfter bool // the endpoint closes the connection after it
 }
 
-// readResponse reads a complete response. One that ends early, whose length is given in two ways, or that only the end of
-// the connection ends, is an error: nothing but what the endpoint made for the request may pass for its response.
-// http.ReadResponse would hide that it had both a length and chunks.
+// readResponse reads a complete response. One that ends early, whose length is given in two ways, or that only the
+// end of the connection ends, is an error: nothing but what the endpoint made for the request may pass for its
+// response. http.ReadResponse would hide that it had both a length and chunks.
 func (c *Conn) readResponse() (*parsedResponse, error) {
 	for range maxInterimResponses {
 		c.SetReadDeadline(time.Time{})
@@ -265,7 +266,8 @@
 	return nil, errAmbiguousLength
 }
 
-// encodeHead encodes the start of a request, up to the fields that frame its body, with the time that is left for it in a header, if any.
+// encodeHead encodes the start of a request, up to the fields that frame its body, with the time that is left for it
+// in a header, if any.
 func (m *BufferedRequest) encodeHead(deadline string, leftMs int64) *bytes.Buffer {
 	b := &bytes.Buffer{}
 	b.Grow(512 + len(m.Body))
--- a/internal/upstream/connections_test.go
+++ b/internal/upstream/connections_test.go
@@ -52,9 +52,9 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 }
 
-// live has attempts, withdrawals, drops and pauses meet in an order drawn from a seed, and returns what broke a rule: an
-// attempt written twice, a client served with what was not made for it, one not written that is said to have run or the
-// other way round, a connection that nobody has.
+// live has attempts, withdrawals, drops and pauses meet in an order drawn from a seed, and returns what broke a rule:
+// an attempt written twice, a client served with what was not made for it, one not written that is said to have run
+// or the other way round, a connection that nobody has.
 func runRandomEvents(t *testing.T, seed uint64, settle time.Duration) []string {
 	l := &requestLedger{received: map[string]int{}}
 	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
@@ -132,9 +132,9 @@
 	return l.violations
 }
 
-// Whatever meets on connections to an endpoint, each attempt is written once at most, nobody is served with what was made for
-// another, what is said never to have run never did, and no connection is left. The same without the rest after an answer is
-// found out.
+// Whatever meets on connections to an endpoint, each attempt is written once at most, nobody is served with what was
+// made for another, what is said never to have run never did, and no connection is left. The same without the rest
+// after an answer is found out.
 func TestConnectionsUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(12) {
 		for _, wrong := range runRandomEvents(t, seed, DefaultReuseDelay) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -244,7 +244,8 @@
 	}
 }
 
-// readHead reads up to the head of the final response, and reports whether the endpoint closes the connection after it.
+// readHead reads up to the head of the final response, and reports whether the endpoint closes the connection after
+// it.
 func (e *exchange) readHead() (*Response, bool, error) {
 	a := &Response{}
 	for len(a.Interim) <= maxInterimResponses {
@@ -287,8 +288,8 @@
 	return true
 }
 
-// bufferBody reads as much of a response as is buffered, and reports whether that is all. With waitForAll, a response of
-// known length is waited for until the time of the attempt ends.
+// bufferBody reads as much of a response as is buffered, and reports whether that is all. With waitForAll, a response
+// of known length is waited for until the time of the attempt ends.
 func (e *exchange) bufferBody(a *Response, body *http1msg.Body, waitForAll bool) (bool, error) {
 	if body.Done() {
 		return true, nil
@@ -321,8 +322,8 @@
 			e.attempt.ResponseProgress() // it is slow, but not silent
 			until = time.Time{}
 		case isTimeout(err) && waitForAll && a.Framing.Kind == http1msg.FixedLength:
-			// A head alone is not forwarded: the rest may never come, where a retry may still succeed. The time of the attempt
-			// bounds this.
+			// A head alone is not forwarded: the rest may never come, where a retry may still succeed. The time of
+			// the attempt bounds this.
 			until = time.Now().Add(bufferWindow)
 		case isTimeout(err):
 			return false, nil
--- a/internal/upstream/policy.go
+++ b/internal/upstream/policy.go
@@ -7,7 +7,8 @@
 	"dunlinsail/balancer"
 )
 
-// ResponsePolicy says how responses of endpoints are classified, buffered and bounded. It must not change while it is used.
+// ResponsePolicy says how responses of endpoints are classified, buffered and bounded. It must not change while it is
+// used.
 type ResponsePolicy struct {
 	FailureStatus  [600]bool // these count as an error of the endpoint
 	RejectedStatus [600]bool // these, with Retry-After, count as rejected before they ran
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -73,8 +73,8 @@
 // Forwarded returns how many attempts have been written to endpoints, their last byte included.
 func (p *Pool) Forwarded() uint64 { return p.forwarded.Load() }
 
-// Target is the address of one endpoint, with the connections to it. They are not shared by address: a new endpoint may
-// listen where another has gone, and what was meant for the one must not reach the other.
+// Target is the address of one endpoint, with the connections to it. They are not shared by address: a new endpoint
+// may listen where another has gone, and what was meant for the one must not reach the other.
 type Target struct {
 	pool *Pool
 	addr string
@@ -111,8 +111,8 @@
 	errEndpointGone = errors.New("the endpoint is gone")
 )
 
-// noConnStatus returns the status of an attempt for which there is no connection, which never ran. A shortage of our own
-// is no fault of the endpoint: a healthy one would be ejected for it.
+// noConnStatus returns the status of an attempt for which there is no connection, which never ran. A shortage of our
+// own is no fault of the endpoint: a healthy one would be ejected for it.
 func (p *Pool) noConnStatus(ctx context.Context, err error) balancer.Status {
 	shortage := errors.Is(err, errConnLimit) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.EADDRNOTAVAIL)
@@ -138,8 +138,8 @@
 // closed. One that comes later still is only detected if nothing was written in between.
 const DefaultReuseDelay = 20 * time.Millisecond
 
-// Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else the
-// first to get past it, once it has, since a new one costs more; else a new one.
+// Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
+// the first to get past it, once it has, since a new one costs more; else a new one.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -402,8 +402,8 @@
 	return c
 }
 
-// An attempt that takes a connection and is withdrawn before its first byte has not used it: to the endpoint it has been idle all the
-// while, and it is not used beyond its age for that, nor before one used later.
+// An attempt that takes a connection and is withdrawn before its first byte has not used it: to the endpoint it has
+// been idle all the while, and it is not used beyond its age for that, nor before one used later.
 func TestUnusedConnectionKeepsItsAge(t *testing.T) {
 	var dials atomic.Int32
 	addr := startAnsweringEndpoint(t, &dials)
@@ -509,8 +509,8 @@
 	}
 }
 
-// What may rest is bounded for all who have endpoints here together; the one unused longest gives way, and a part of one is
-// a part of its time.
+// What may rest is bounded for all who have endpoints here together; the one unused longest gives way, and a part of
+// one is a part of its time.
 func TestRestingConnectionsAreBounded(t *testing.T) {
 	u := newPool()
 	ctx := context.Background()
@@ -549,8 +549,9 @@
 	}
 }
 
-// An endpoint may answer twice, some milliseconds apart. What is written to the connection in between would be answered by the
-// second: so the connection rests first, and one on which more came is not used again. Both ways of reading answers hold to it.
+// An endpoint may answer twice, some milliseconds apart. What is written to the connection in between would be
+// answered by the second: so the connection rests first, and one on which more came is not used again. Both ways of
+// reading answers hold to it.
 func TestLateSecondAnswer(t *testing.T) {
 	for name, send := range map[string]func(u *Pool, to core.Target) (balancer.Status, string){
 		"exchange": func(u *Pool, to core.Target) (balancer.Status, string) {
@@ -609,8 +610,8 @@
 	}
 }
 
-// A connection that rests is waited for, since a new one costs more, and what that takes does not count as the endpoint's time;
-// whoever leaves meanwhile leaves it as it was.
+// A connection that rests is waited for, since a new one costs more, and what that takes does not count as the
+// endpoint's time; whoever leaves meanwhile leaves it as it was.
 func TestRestingIsWaitedFor(t *testing.T) {
 	var tried atomic.Int32
 	const settle = 100 * time.Millisecond
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -67,8 +67,8 @@
 // ErrRequestBodyTooLong means that a request body is larger than RequestStream.MaxBytes.
 var ErrRequestBodyTooLong = errors.New("the body is larger than it may be")
 
-// RequestStream is a request body that is forwarded as it arrives. The first attempt that claims it owns it for good: it
-// cannot be sent again.
+// RequestStream is a request body that is forwarded as it arrives. The first attempt that claims it owns it for good:
+// it cannot be sent again.
 type RequestStream struct {
 	Body     *http1msg.Body
 	Length   int64 // of the complete body, Request.Body included; -1 is unknown
@@ -84,8 +84,8 @@
 	err     error         // what ended reading, but for io.EOF; set before done is closed
 }
 
-// NewRequestStream returns a stream of a body of length bytes (-1: unknown). beforeRead is called before each read, and
-// abort ends a read that waits for the client.
+// NewRequestStream returns a stream of a body of length bytes (-1: unknown). beforeRead is called before each read,
+// and abort ends a read that waits for the client.
 func NewRequestStream(b *http1msg.Body, length int64, beforeRead, abort func()) *RequestStream {
 	return &RequestStream{
 		Body:       b,
@@ -106,8 +106,8 @@
 // Done returns a channel that is closed once a claimed body is not read any more.
 func (s *RequestStream) Done() <-chan struct{} { return s.done }
 
-// Err returns the error that ended reading from the client. It is valid once Done is closed; nil is the end of the body,
-// or that no more of it was needed.
+// Err returns the error that ended reading from the client. It is valid once Done is closed; nil is the end of the
+// body, or that no more of it was needed.
 func (s *RequestStream) Err() error { return s.err }
 
 // finish waits until nothing reads from the client any more.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -12,8 +12,8 @@
 // ErrResponseTooLong means that a response is larger than its policy allows, or takes longer.
 var ErrResponseTooLong = errors.New("the answer is larger, or takes longer, than it may")
 
-// Response is the response of an endpoint with a complete head. Its body is in Buffered, and goes on in Stream if that is
-// not nil.
+// Response is the response of an endpoint with a complete head. Its body is in Buffered, and goes on in Stream if
+// that is not nil.
 type Response struct {
 	StatusCode int
 	Interim    []InterimResponse // that came ahead
@@ -30,7 +30,8 @@
 	Header     http.Header
 }
 
-// ResponseStream is the remainder of a response body that is streamed. One goroutine reads it to its end, or calls Finish.
+// ResponseStream is the remainder of a response body that is streamed. One goroutine reads it to its end, or calls
+// Finish.
 type ResponseStream struct {
 	conn      *Conn
 	body      *http1msg.Body
