--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -96,7 +96,9 @@
 }
 
 // upstreamRules returns how a route's requests of a class are sent, and their responses judged.
-func upstreamRules(c *config.Config, conf *config.Route, class uint8, deadline http1.ValueSource) *upstream.ResponsePolicy {
+func upstreamRules(
+	c *config.Config, conf *config.Route, class uint8, deadline http1.ValueSource,
+) *upstream.ResponsePolicy {
 	settings := &c.Site.Settings.Classes[class]
 	x := &upstream.ResponsePolicy{
 		NonIdempotent:   settings.Idempotency == balancer.NonIdempotent,
