Split eventlog.Analyze into an analysis with one method for each step; name comments by their items

Analyze was 103 lines. The order of events, maps and sums is as before. go vet and go test -race of eventlog, accesslog, admin and upstream pass.

--- a/internal/accesslog/operations.go
+++ b/internal/accesslog/operations.go
@@ -16,16 +16,17 @@
 }
 
 const (
-	// keyTime is for how long a key means the same thing, in microseconds: what comes later with it is another story.
+	// keyLifetime is for how long a key means the same thing, in microseconds: what comes later with it is another
+	// story.
 	keyLifetime = 60_000_000
-	// againTime is within what time after a try that was not served the next one of the same client for the same thing
-	// belongs to it.
+	// retryWindow is within what time after a try that was not served the next one of the same client for the same
+	// thing belongs to it.
 	retryWindow = 2_000_000
-	// triesMost is how many tries a story has at most.
+	// maxAttempts is how many tries a story has at most.
 	maxAttempts = 12
 )
 
-// who is by what a try without a key is found to belong to another.
+// operationKey is by what a try without a key is found to belong to another.
 type operationKey struct {
 	instance, client, tenant, class, route string
 	object                                 uint64
--- a/internal/accesslog/recording.go
+++ b/internal/accesslog/recording.go
@@ -44,7 +44,7 @@
 	Problems []string  // what cannot be read
 }
 
-// stepLeast is the least step of a clock that is told, in microseconds: less is how late a segment is written.
+// minClockStep is the least step of a clock that is told, in microseconds: less is how late a segment is written.
 const minClockStep = 200_000
 
 // Read reads folders and single segments. What cannot be read is told as a problem, and the rest is read.
@@ -169,7 +169,7 @@
 	return rows, meta, nil
 }
 
-// sum tells what a run's segments say together.
+// summarize tells what a run's segments say together.
 func (r *Run) summarize() {
 	if r.Sample >= 1 {
 		r.Missing = r.maxSeq - r.Rows
@@ -206,8 +206,8 @@
 	slices.SortStableFunc(rec.Requests, func(a, b Request) int { return cmp.Compare(a.Arrived, b.Arrived) })
 }
 
-// sealed is for how long a segment may rest before it is written, in microseconds: a clock that is ahead by less may
-// be right.
+// maxSegmentDelay is for how long a segment may rest before it is written, in microseconds: a clock that is ahead by
+// less may be right.
 const maxSegmentDelay = 60_000_000
 
 // Check tells what a recording lacks, for whoever wants to play it again.
--- a/internal/accesslog/row.go
+++ b/internal/accesslog/row.go
@@ -56,7 +56,7 @@
 // another; nobody without it can tell whose a hash is.
 type Hasher struct{ secret []byte }
 
-// secretLeast is how many bytes a secret has at least.
+// minSecretBytes is how many bytes a secret has at least.
 const minSecretBytes = 16
 
 // NewHasher returns a hasher with a secret from a file, or the error of one that is too short.
--- a/internal/accesslog/writer.go
+++ b/internal/accesslog/writer.go
@@ -55,16 +55,16 @@
 	dropped int64
 }
 
-// segmentsWaiting is how many segments may wait for the disk.
+// maxPendingSegments is how many segments may wait for the disk.
 const maxPendingSegments = 2
 
-// suffix is that of a segment's name.
+// segmentSuffix is that of a segment's name.
 const segmentSuffix = ".parquet"
 
-// partial is what a segment's name ends in while it is being written.
+// partialSuffix is what a segment's name ends in while it is being written.
 const partialSuffix = ".part"
 
-// ours says whether a segment's name is one of this instance's, and of which process.
+// ownSegment says whether a segment's name is one of this instance's, and of which process.
 func (w *Writer) ownSegment(name string) (pid int, ours bool) {
 	rest, ok := strings.CutPrefix(name, w.options.Instance+"-")
 	rest, whole := strings.CutSuffix(rest, segmentSuffix)
@@ -93,7 +93,7 @@
 	return int(id), err == nil
 }
 
-// alive says whether a process is there: a taker begins to write while its giver still does.
+// processAlive says whether a process is there: a taker begins to write while its giver still does.
 func processAlive(pid int) bool {
 	return pid == os.Getpid() || syscall.Kill(pid, 0) == nil
 }
@@ -150,7 +150,7 @@
 	}
 }
 
-// end hands the present segment on. The caller holds mu.
+// handOverLocked hands the present segment on. The caller holds mu.
 func (w *Writer) handOverLocked() {
 	s := segment{w.rows, w.segmentStart, w.dropped}
 	select {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// target reads the one thing that a call's body says.
+// parseTarget reads the one thing that a call's body says.
 func parseTarget(text []byte) (string, error) {
 	var call struct {
 		Target *string `json:"target"`
@@ -240,5 +240,5 @@
 	return text, err
 }
 
-// answerMost bounds what a call's answer may be.
+// maxResponseBytes bounds what a call's answer may be.
 const maxResponseBytes = 64 << 20
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// serve serves calls of which the good ones are noted.
+// startServer serves calls of which the good ones are noted.
 func startServer(t *testing.T, d Backend) (addr string, said func() []string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -54,7 +54,7 @@
 	}
 }
 
-// call makes a call in so many words and returns its answer.
+// roundTrip makes a call in so many words and returns its answer.
 func roundTrip(t *testing.T, addr, text string) (code int, allow, body string) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
--- a/internal/eventlog/analyze.go
+++ b/internal/eventlog/analyze.go
@@ -93,107 +93,163 @@
 
 // Analyze counts the events of a fleet, each instance's in the order written.
 func Analyze(fleet [][]Event) FleetStats {
-	c := FleetStats{Instances: len(fleet), PerSecond: map[Kind]Distribution{}}
-	endpoints := map[string]*endpointHistory{}
-	at := func(name string) *endpointHistory {
-		if endpoints[name] == nil {
-			endpoints[name] = &endpointHistory{name: name, added: map[int]monotime.Micros{}, removed: map[int]monotime.Micros{}}
-		}
-		return endpoints[name]
+	events := mergeByTime(fleet)
+	if len(events) == 0 {
+		return FleetStats{Instances: len(fleet), PerSecond: map[Kind]Distribution{}}
+	}
+	a := &analysis{
+		stats:     FleetStats{Instances: len(fleet), PerSecond: map[Kind]Distribution{}},
+		start:     events[0].At,
+		end:       events[len(events)-1].At,
+		endpoints: map[string]*endpointHistory{},
+		names:     make([]map[string]string, len(fleet)),
+		polls:     map[monotime.Micros]int{},
 	}
-	type ordered struct {
-		Event
-		instance int
+	for _, e := range events {
+		a.add(e)
 	}
-	var all []ordered
+	return a.finish()
+}
+
+// fleetEvent is an event with the index of its instance.
+type fleetEvent struct {
+	Event
+	instance int
+}
+
+// mergeByTime returns the events of all instances in the order of their times.
+func mergeByTime(fleet [][]Event) []fleetEvent {
+	var all []fleetEvent
 	for i, events := range fleet {
 		for _, e := range events {
-			all = append(all, ordered{e, i})
+			all = append(all, fleetEvent{e, i})
 		}
 	}
-	if len(all) == 0 {
-		return c
-	}
-	slices.SortStableFunc(all, func(a, b ordered) int { return cmp.Compare(a.At, b.At) })
-	begin, end := all[0].At, all[len(all)-1].At
-	c.Seconds = float64(end-begin) / float64(second)
-	names := make([]map[string]string, len(fleet)) // of addresses, as each instance has them
-	asked := map[monotime.Micros]int{}
-	for _, e := range all {
-		switch e.Kind {
-		case EndpointUpdated:
-			if names[e.instance] == nil {
-				names[e.instance] = map[string]string{}
-			}
-			o := at(e.Endpoint)
-			if e.Addr != "" {
-				names[e.instance][e.Addr] = e.Endpoint
-			}
-			if o.firstUpdate == 0 {
-				o.firstUpdate = e.At
-			}
-			if e.Status == "ready" {
-				setOnce(o.added, e.instance, e.At)
-			} else {
-				setOnce(o.removed, e.instance, e.At)
-			}
-		case AttemptStarted:
-			c.Attempts++
-			at(e.Endpoint).started = append(at(e.Endpoint).started, attempt{e.At, e.instance, false})
-		case AttemptEnded:
-			failed := e.Status != "ok" && e.Status != "cancelled" && e.Status != "moot"
-			c.Failures += boolToInt(failed)
-			at(e.Endpoint).ended = append(at(e.Endpoint).ended, attempt{e.At, e.instance, failed})
-		case ProbeEnded:
-			at(e.Endpoint).probes = append(at(e.Endpoint).probes, e.At)
-		case ConnOpened, ConnClosed:
-			name, ok := names[e.instance][e.Endpoint]
-			if !ok {
-				name = e.Endpoint
-			}
-			o := at(name)
-			switch {
-			case e.Kind == ConnClosed:
-				o.openConns--
-			case e.Status == "ok":
-				o.openConns++
-				o.maxOpenConns = max(o.maxOpenConns, o.openConns)
-				o.dials = append(o.dials, e.At)
-			default:
-				c.FailedDials++
-			}
-		case DiscoveryPolled:
-			c.Polls += boolToInt(e.Status == "ok")
-			c.FailedPolls += boolToInt(e.Status != "ok")
-			asked[(e.At-begin)/second]++
-			c.MaxPollsPerSecond = max(c.MaxPollsPerSecond, asked[(e.At-begin)/second])
+	slices.SortStableFunc(all, func(a, b fleetEvent) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+// analysis is the state of Analyze.
+type analysis struct {
+	stats     FleetStats
+	start     monotime.Micros // of the first event
+	end       monotime.Micros // of the last event
+	endpoints map[string]*endpointHistory
+	names     []map[string]string // endpoint names by address, for each instance
+	polls     map[monotime.Micros]int
+}
+
+// endpoint returns the history of an endpoint, a new one for a new name.
+func (a *analysis) endpoint(name string) *endpointHistory {
+	if a.endpoints[name] == nil {
+		a.endpoints[name] = &endpointHistory{
+			name:    name,
+			added:   map[int]monotime.Micros{},
+			removed: map[int]monotime.Micros{},
 		}
 	}
-	c.Endpoints = len(endpoints)
-	list := make([]*endpointHistory, 0, len(endpoints))
-	for _, o := range endpoints {
-		list = append(list, o)
+	return a.endpoints[name]
+}
+
+// add counts an event. Events are added in the order of their times.
+func (a *analysis) add(e fleetEvent) {
+	switch e.Kind {
+	case EndpointUpdated:
+		a.addUpdate(e)
+	case AttemptStarted:
+		a.stats.Attempts++
+		endpoint := a.endpoint(e.Endpoint)
+		endpoint.started = append(endpoint.started, attempt{e.At, e.instance, false})
+	case AttemptEnded:
+		failed := e.Status != "ok" && e.Status != "cancelled" && e.Status != "moot"
+		a.stats.Failures += boolToInt(failed)
+		endpoint := a.endpoint(e.Endpoint)
+		endpoint.ended = append(endpoint.ended, attempt{e.At, e.instance, failed})
+	case ProbeEnded:
+		endpoint := a.endpoint(e.Endpoint)
+		endpoint.probes = append(endpoint.probes, e.At)
+	case ConnOpened, ConnClosed:
+		a.addConn(e)
+	case DiscoveryPolled:
+		a.stats.Polls += boolToInt(e.Status == "ok")
+		a.stats.FailedPolls += boolToInt(e.Status != "ok")
+		elapsed := (e.At - a.start) / second
+		a.polls[elapsed]++
+		a.stats.MaxPollsPerSecond = max(a.stats.MaxPollsPerSecond, a.polls[elapsed])
+	}
+}
+
+// addUpdate counts an update of an endpoint.
+func (a *analysis) addUpdate(e fleetEvent) {
+	if a.names[e.instance] == nil {
+		a.names[e.instance] = map[string]string{}
+	}
+	endpoint := a.endpoint(e.Endpoint)
+	if e.Addr != "" {
+		a.names[e.instance][e.Addr] = e.Endpoint
+	}
+	if endpoint.firstUpdate == 0 {
+		endpoint.firstUpdate = e.At
+	}
+	if e.Status == "ready" {
+		setOnce(endpoint.added, e.instance, e.At)
+	} else {
+		setOnce(endpoint.removed, e.instance, e.At)
+	}
+}
+
+// addConn counts a connection that was opened or closed, or could not be opened.
+func (a *analysis) addConn(e fleetEvent) {
+	name, ok := a.names[e.instance][e.Endpoint]
+	if !ok {
+		name = e.Endpoint
+	}
+	endpoint := a.endpoint(name)
+	switch {
+	case e.Kind == ConnClosed:
+		endpoint.openConns--
+	case e.Status == "ok":
+		endpoint.openConns++
+		endpoint.maxOpenConns = max(endpoint.maxOpenConns, endpoint.openConns)
+		endpoint.dials = append(endpoint.dials, e.At)
+	default:
+		a.stats.FailedDials++
+	}
+}
+
+// finish returns the statistics of all events added.
+func (a *analysis) finish() FleetStats {
+	a.stats.Seconds = float64(a.end-a.start) / float64(second)
+	a.stats.Endpoints = len(a.endpoints)
+	list := make([]*endpointHistory, 0, len(a.endpoints))
+	for _, endpoint := range a.endpoints {
+		list = append(list, endpoint)
 	}
 	slices.SortFunc(list, func(a, b *endpointHistory) int { return cmp.Compare(a.name, b.name) })
-	var held []float64
-	per := map[Kind][]float64{}
-	for _, o := range list {
-		held = append(held, float64(o.maxOpenConns))
-		until := end
-		for _, t := range o.removed {
+	var openConns []float64
+	perSecond := map[Kind][]float64{}
+	for _, endpoint := range list {
+		openConns = append(openConns, float64(endpoint.maxOpenConns))
+		from := max(a.start, endpoint.firstUpdate)
+		until := a.end
+		for _, t := range endpoint.removed {
 			until = min(until, t)
 		}
-		for kind, at := range map[Kind][]monotime.Micros{AttemptStarted: attemptTimes(o.started), ProbeEnded: o.probes, ConnOpened: o.dials} {
-			per[kind] = append(per[kind], countPerSecond(at, max(begin, o.firstUpdate), until)...)
+		for kind, times := range map[Kind][]monotime.Micros{
+			AttemptStarted: attemptTimes(endpoint.started),
+			ProbeEnded:     endpoint.probes,
+			ConnOpened:     endpoint.dials,
+		} {
+			perSecond[kind] = append(perSecond[kind], countPerSecond(times, from, until)...)
 		}
 	}
-	c.OpenConns = newDistribution(held)
-	for kind, v := range per {
-		c.PerSecond[kind] = newDistribution(v)
+	a.stats.OpenConns = newDistribution(openConns)
+	for kind, counts := range perSecond {
+		a.stats.PerSecond[kind] = newDistribution(counts)
 	}
-	c.Added, c.Removed = propagation(list, begin)
-	c.Faults = faultStats(list)
-	return c
+	a.stats.Added, a.stats.Removed = propagation(list, a.start)
+	a.stats.Faults = faultStats(list)
+	return a.stats
 }
 
 func setOnce(m map[int]monotime.Micros, instance int, at monotime.Micros) {
@@ -216,7 +272,7 @@
 	return at
 }
 
-// seconds counts instants in each whole second of a stretch of time.
+// countPerSecond counts instants in each whole second of a stretch of time.
 func countPerSecond(at []monotime.Micros, from, to monotime.Micros) []float64 {
 	n := int((to - from) / second)
 	if n <= 0 {
@@ -231,12 +287,12 @@
 	return v
 }
 
-// lives counts how changes of the list reached the fleet. What was told within a second of the fleet's start was
+// propagation counts how changes of the list reached the fleet. What was told within a second of the fleet's start was
 // there before.
-func propagation(list []*endpointHistory, begin monotime.Micros) (came, left Propagation) {
+func propagation(list []*endpointHistory, start monotime.Micros) (came, left Propagation) {
 	var cameTold, leftTold, used, users, unknowing []float64
 	for _, o := range list {
-		if o.firstUpdate > begin+second && len(o.added) > 0 {
+		if o.firstUpdate > start+second && len(o.added) > 0 {
 			came.Endpoints++
 			for _, t := range o.added {
 				cameTold = append(cameTold, float64(t-o.firstUpdate)/float64(second))
@@ -270,12 +326,15 @@
 		}
 		unknowing = append(unknowing, float64(n))
 	}
-	came.Notified, came.FirstUse, came.Users = newDistribution(cameTold), newDistribution(used), newDistribution(users)
-	left.Notified, left.StaleFailures = newDistribution(leftTold), newDistribution(unknowing)
+	came.Notified = newDistribution(cameTold)
+	came.FirstUse = newDistribution(used)
+	came.Users = newDistribution(users)
+	left.Notified = newDistribution(leftTold)
+	left.StaleFailures = newDistribution(unknowing)
 	return came, left
 }
 
-// bads counts what endpoints cost that failed half of what the fleet sent them, for as long as that went on.
+// faultStats counts what endpoints cost that failed half of what the fleet sent them, for as long as that went on.
 func faultStats(list []*endpointHistory) (b FaultStats) {
 	var length, failures, met, each, late []float64
 	for _, o := range list {
@@ -285,32 +344,42 @@
 				i++
 				continue
 			}
-			first, last, n, later := o.ended[i].time, o.ended[i].time, 0, 0
+			first := o.ended[i].time
+			last := first
+			failed := 0
+			later := 0
 			by := map[int]int{}
 			for ; i < len(o.ended) && o.ended[i].time < last+faultQuietTime; i++ {
 				if u := o.ended[i]; u.failed {
 					last = u.time
-					n++
+					failed++
 					by[u.instance]++
 					later += boolToInt(u.time > first+faultWindow)
 				}
 			}
 			b.Episodes++
 			length = append(length, float64(last-first)/float64(second))
-			failures, late, met = append(failures, float64(n)), append(late, float64(later)), append(met, float64(len(by)))
+			failures = append(failures, float64(failed))
+			late = append(late, float64(later))
+			met = append(met, float64(len(by)))
 			for _, n := range by {
 				each = append(each, float64(n))
 			}
 		}
 		b.Endpoints += boolToInt(b.Episodes > was)
 	}
-	b.Length, b.Failures, b.Instances, b.PerInstance, b.Late = newDistribution(length), newDistribution(failures), newDistribution(met), newDistribution(each), newDistribution(late)
+	b.Length = newDistribution(length)
+	b.Failures = newDistribution(failures)
+	b.Instances = newDistribution(met)
+	b.PerInstance = newDistribution(each)
+	b.Late = newDistribution(late)
 	return b
 }
 
-// badFrom says whether, from a failure on, an endpoint fails half of what the fleet sends it.
+// isFaultStart says whether, from a failure on, an endpoint fails half of what the fleet sends it.
 func isFaultStart(ended []attempt) bool {
-	n, failed := 0, 0
+	n := 0
+	failed := 0
 	for _, u := range ended {
 		if u.time > ended[0].time+faultWindow {
 			break
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -1,6 +1,6 @@
-// Package eventlog writes down what one instance does at its endpoints and at discovery, a line each, and counts the
-// lines of a whole fleet: what is harmless in one instance may not be in eighty. It decides nothing, and may not know
-// protocols or sockets. events.go holds the lines, count.go what is counted of them, report.go how that is told.
+// Package eventlog writes what one instance does with its endpoints and with discovery, one line for each event, and
+// analyzes the lines of a whole fleet. It makes no decisions and must not import protocols. events.go defines the
+// lines, analyze.go the statistics, report.go how they are printed.
 package eventlog
 
 import (
--- a/internal/upstream/connections_test.go
+++ b/internal/upstream/connections_test.go
@@ -18,7 +18,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// ledger is the reference: what an endpoint took and what clients were served, by the requests' ids.
+// requestLedger is the reference: what an endpoint took and what clients were served, by the requests' ids.
 type requestLedger struct {
 	mu         sync.Mutex
 	received   map[string]int
@@ -52,9 +52,9 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 }
 
-// live has attempts, withdrawals, drops and pauses meet in an order drawn from a seed, and returns what broke a rule:
-// an attempt written twice, a client served with what was not made for it, one not written that is said to have run
-// or the other way round, a connection that nobody has.
+// runRandomEvents has attempts, withdrawals, drops and pauses meet in an order drawn from a seed, and returns what
+// broke a rule: an attempt written twice, a client served with what was not made for it, one not written that is said
+// to have run or the other way round, a connection that nobody has.
 func runRandomEvents(t *testing.T, seed uint64, settle time.Duration) []string {
 	l := &requestLedger{received: map[string]int{}}
 	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -53,7 +53,7 @@
 
 func (p *Pool) newTarget(addr string) *Target { return p.Target(addr).(*Target) }
 
-// try makes one attempt with a second of time.
+// sendOnce makes one attempt with a second of time.
 func (p *Pool) sendOnce(m *BufferedRequest, to core.Target) engine.AttemptResult {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
@@ -101,7 +101,7 @@
 	}
 }
 
-// short is a connection that breaks before the last bytes of a write, or right after them.
+// truncatingConn is a connection that breaks before the last bytes of a write, or right after them.
 type truncatingConn struct {
 	net.Conn
 	missing int
@@ -349,7 +349,7 @@
 	}
 }
 
-// answering is an endpoint that answers all that comes, and counts its connections.
+// startAnsweringEndpoint is an endpoint that answers all that comes, and counts its connections.
 func startAnsweringEndpoint(t *testing.T, dials *atomic.Int32) string {
 	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
@@ -392,7 +392,7 @@
 	}
 }
 
-// taken takes a connection.
+// mustGet takes a connection.
 func (p *Pool) mustGet(t *testing.T, to *Target) *Conn {
 	t.Helper()
 	c, err := p.Get(context.Background(), to)
