Experiments: one step a line, doc comments in ordinary terms

Statements of several assignments are one step a line, and comments no longer use the earlier house style. go test of experiment, claim, report and stats passes.

--- a/cmd/dunlinlab/real.go
+++ b/cmd/dunlinlab/real.go
@@ -47,7 +47,8 @@
 	if c.Log {
 		log = os.Stderr
 	}
-	inside, all := 0, 0
+	inside := 0
+	all := 0
 	for _, name := range c.Scenarios {
 		s, err := c.SizeFlags.load(name)
 		if err != nil {
--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -75,7 +75,8 @@
 		byClass[s.First().Class] = append(byClass[s.First().Class], s)
 	}
 	for _, class := range slices.Sorted(maps.Keys(byClass)) {
-		tries, served := 0, 0
+		tries := 0
+		served := 0
 		var took []int64
 		verdicts := map[string]int{}
 		for _, s := range byClass[class] {
--- a/cmd/dunlinlab/runs.go
+++ b/cmd/dunlinlab/runs.go
@@ -115,10 +115,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		r.Store, done = s, func() { _ = s.Close() } // each run was committed as it ended
+		r.Store = s
+		done = func() { _ = s.Close() } // each run was committed as it ended
 	}
 	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 && !k.Quiet {
-		began, last := time.Now(), time.Time{}
+		began := time.Now()
+		last := time.Time{}
 		r.Progress = func(done, kept, all int) {
 			if time.Since(last) < 200*time.Millisecond && done+kept < all {
 				return
--- a/cmd/dunlinlab/words.go
+++ b/cmd/dunlinlab/words.go
@@ -130,9 +130,13 @@
 				if failed != nil {
 					err = failed
 				} else {
-					t.maxSpent, t.exceeded = max(t.maxSpent, r.MaxSpent), t.exceeded+r.UnitsExceeded
+					t.maxSpent = max(t.maxSpent, r.MaxSpent)
+					t.exceeded += r.UnitsExceeded
 					t.utilization = append(t.utilization, r.Utilization)
-					t.messageRate, t.byteRate, t.allocatorMessageRate, t.allocatorByteRate = t.messageRate+r.MessageRate, t.byteRate+r.ByteRate, t.allocatorMessageRate+r.AllocatorMessageRate, t.allocatorByteRate+r.AllocatorByteRate
+					t.messageRate += r.MessageRate
+					t.byteRate += r.ByteRate
+					t.allocatorMessageRate += r.AllocatorMessageRate
+					t.allocatorByteRate += r.AllocatorByteRate
 				}
 				mu.Unlock()
 			}
--- a/internal/experiment/agree.go
+++ b/internal/experiment/agree.go
@@ -16,7 +16,7 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// Agreement is what the model said of real runs, and what they came to.
+// Agreement compares runs by processes with what the simulation predicts for them.
 type Agreement struct {
 	Scenario             *scenario.Scenario
 	Seeds, DecisionSeeds int
@@ -33,7 +33,7 @@
 	Agrees    bool           `json:"Inside"`
 }
 
-// agreed are the figures by which model and real runs are held against one another.
+// agreementFigures are the figures by which simulated and real runs are compared.
 var agreementFigures = []string{
 	"service",
 	"whole",
@@ -62,8 +62,8 @@
 	return 0.01
 }
 
-// CompareWithProcesses plays a scenario for real, and in the model several times for each seed with other lots, and tells whether the
-// mean of the real runs lies where the model says.
+// CompareWithProcesses plays a scenario for real, and in the model several times for each seed with other lots, and
+// tells whether the mean of the real runs lies where the model says.
 func (r *Runner) CompareWithProcesses(
 	ctx context.Context, s *scenario.Scenario, v *Variant, daemon string, seeds, decisionSeeds int, log io.Writer,
 ) (*Agreement, error) {
--- a/internal/experiment/build.go
+++ b/internal/experiment/build.go
@@ -28,7 +28,8 @@
 // ParseConstant reads FOLDER.NAME=EXPRESSION.
 func ParseConstant(text string) (Constant, error) {
 	key, value, ok := strings.Cut(text, "=")
-	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	key = strings.TrimSpace(key)
+	value = strings.TrimSpace(value)
 	dot := strings.LastIndex(key, ".")
 	if !ok || dot < 1 || value == "" || !token.IsIdentifier(key[dot+1:]) {
 		return Constant{}, fmt.Errorf("%q is not FOLDER.NAME=EXPRESSION, as balancer.maxAcceptWeight=1.3", text)
@@ -116,7 +117,8 @@
 		if expr == nil {
 			continue
 		}
-		from, to := set.Position(expr.Pos()).Offset, set.Position(expr.End()).Offset
+		from := set.Position(expr.Pos()).Offset
+		to := set.Position(expr.End()).Offset
 		next := slices.Concat(text[:from], []byte(c.Value), text[to:])
 		if files[name], err = format.Source(next); err != nil {
 			return fmt.Errorf("%s.%s: %w", c.Package, c.Name, err)
--- a/internal/experiment/claim/claim.go
+++ b/internal/experiment/claim/claim.go
@@ -1,5 +1,5 @@
-// Package claim reads what is claimed of runs, as "service >= 0.95", "p99.book < 1.2 * p99 + 20ms" or "breaks == 0",
-// and judges it by the figures of several runs. It knows names of figures, and nothing of what they mean.
+// Package claim parses claims about runs, such as "service >= 0.95", "p99.book < 1.2 * p99 + 20ms" or "breaks == 0",
+// and evaluates them by the figures of several runs. Figures are known by name only.
 package claim
 
 import (
@@ -56,13 +56,14 @@
 	Negative *value  `parser:"| '-' @@"`
 }
 
-// Claim is a claim that was read.
+// Claim is a parsed claim.
 type Claim struct {
 	Text       string
 	comparison *comparison
 }
 
-// Parse reads a claim. names says which figures there are; nil allows all.
+// Parse parses a claim. known reports whether a figure exists; nil allows all. It returns an error for a syntax error
+// or an unknown figure.
 func Parse(text string, known func(name string) bool) (*Claim, error) {
 	c, err := parser.ParseString("", text)
 	if err != nil {
@@ -139,10 +140,10 @@
 	return v
 }
 
-// units are in milliseconds, as times of figures are.
+// units of numbers in claims; durations are in milliseconds, as those of figures are.
 var units = []struct {
-	name        string
-	times, over float64
+	name                string
+	multiplier, divisor float64
 }{{"us", 1, 1000}, {"ms", 1, 1}, {"s", 1000, 1}, {"%", 1, 100}}
 
 func (v *value) evaluate(figures map[string]float64) float64 {
@@ -154,10 +155,14 @@
 	case v.Negative != nil:
 		return -v.Negative.evaluate(figures)
 	}
-	text, times, over := *v.Number, 1.0, 1.0
+	text := *v.Number
+	multiplier := 1.0
+	divisor := 1.0
 	for _, u := range units {
 		if cut, ok := strings.CutSuffix(text, u.name); ok {
-			text, times, over = cut, u.times, u.over
+			text = cut
+			multiplier = u.multiplier
+			divisor = u.divisor
 			break
 		}
 	}
@@ -165,10 +170,10 @@
 	if err != nil {
 		panic(err) // the lexer takes nothing else
 	}
-	return n * times / over
+	return n * multiplier / divisor
 }
 
-// Verdict is what became of a claim.
+// Verdict says whether a claim holds.
 type Verdict uint8
 
 // The verdicts.
@@ -180,6 +185,7 @@
 
 var verdictNames = [...]string{"holds", "fails", "cannot tell"}
 
+// String returns the verdict as it is printed.
 func (v Verdict) String() string { return verdictNames[v] }
 
 // Evaluation is a claim judged by runs.
@@ -191,14 +197,15 @@
 	Margin  stats.Interval // by how much it holds; less than nothing is that it does not
 }
 
-// Judge judges a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each run,
-// what compares sizes on average: the margin's interval tells whether that is sure.
+// Evaluate evaluates a claim by the figures of several runs, with a confidence such as 0.95. An == must hold in each
+// run, what compares sizes on average: the margin's interval tells whether that is sure.
 func (c *Claim) Evaluate(runs []map[string]float64, confidence float64) Evaluation {
 	j := Evaluation{Claim: c.Text}
 	var margins []float64
 	same := true
 	for _, figures := range runs {
-		left, right := c.comparison.Left.evaluate(figures), c.comparison.Right.evaluate(figures)
+		left := c.comparison.Left.evaluate(figures)
+		right := c.comparison.Right.evaluate(figures)
 		j.Left += left / float64(len(runs))
 		j.Right += right / float64(len(runs))
 		same = same && left == right
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -13,22 +13,22 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// Confidence is that of all intervals.
+// Confidence is the confidence level of all intervals.
 const Confidence = 0.95
 
-// Plan says how a comparison is made.
+// Plan is the plan of a comparison.
 type Plan struct {
 	Scenario      *scenario.Scenario
 	A, B          *Variant // B may be nil: then A is only measured
 	FirstSeed     uint64   // the first seed
-	MinSeeds      int      // seeds at least,
-	MaxSeeds      int      // and at most
-	TargetWidth   float64  // it stops once the interval of the service's difference is no wider; 0 is at Most
-	Method        string   // "t" or "bootstrap"
-	PrimaryFigure string   // what is judged by; "" is service
+	MinSeeds      int
+	MaxSeeds      int     // 0 is MinSeeds
+	TargetWidth   float64 // it stops once the interval of the service's difference is no wider; 0 is at Most
+	Method        string  // "t" or "bootstrap"
+	PrimaryFigure string  // what is judged by; "" is service
 }
 
-// Verdict is what a comparison says of B against A.
+// Verdict is the outcome of a comparison of B with A.
 type Verdict uint8
 
 // The verdicts.
@@ -40,6 +40,7 @@
 
 var verdictNames = [...]string{"cannot tell", "better", "worse"}
 
+// String returns the verdict as it is printed.
 func (v Verdict) String() string { return verdictNames[v] }
 
 // Row is one figure of both variants.
@@ -53,17 +54,17 @@
 	Note       string         `json:"Note"`    // for people
 }
 
-// Comparison is what came of a plan.
+// Comparison is the result of a plan.
 type Comparison struct {
 	Plan      Plan
 	Seeds     []uint64
 	RunsA     []*measure.Result
 	RunsB     []*measure.Result // nil without a B
 	Rows      []Row             // the figure that is judged by stands first
-	Identical bool              // every run of B came to the very same as that of A
+	Identical bool              // every run of B has the same digest as that of A
 }
 
-// Compare plays both variants on the same plans, more and more of them until it is known well enough.
+// Compare plays both variants on the same plans, with more and more seeds until the interval is narrow enough.
 func (r *Runner) Compare(ctx context.Context, p Plan) (*Comparison, error) {
 	if p.PrimaryFigure == "" {
 		p.PrimaryFigure = "service"
@@ -94,7 +95,7 @@
 	return c, nil
 }
 
-// more plays n more seeds.
+// playSeeds plays n more seeds.
 func (r *Runner) playSeeds(ctx context.Context, c *Comparison, n int) error {
 	var tasks []Task
 	for i := range n {
@@ -126,7 +127,7 @@
 	return nil
 }
 
-// Figure returns a figure of all runs.
+// Figure returns the values of a figure, by run.
 func Figure(runs []*measure.Result, name string) []float64 {
 	var v []float64
 	for _, r := range runs {
@@ -142,7 +143,7 @@
 	return stats.StudentT(v, Confidence)
 }
 
-// judge makes the rows.
+// buildRows computes the rows of all figures.
 func (c *Comparison) buildRows() {
 	names := []string{c.Plan.PrimaryFigure}
 	for _, f := range measure.Figures {
@@ -157,7 +158,8 @@
 		}
 	}
 	slices.Sort(own)
-	c.Rows, c.Identical = nil, c.RunsB != nil
+	c.Rows = nil
+	c.Identical = c.RunsB != nil
 	for i := range c.RunsB {
 		c.Identical = c.Identical && c.RunsA[i].Digest == c.RunsB[i].Digest
 	}
@@ -198,7 +200,8 @@
 	switch {
 	// what it costs; whether that is well spent, other figures say
 	case row.Verdict != Inconclusive && f.Direction == 0:
-		row.Verdict, row.Note = Inconclusive, "less"
+		row.Verdict = Inconclusive
+		row.Note = "less"
 		if d.Mean > 0 {
 			row.Note = "more"
 		}
@@ -210,8 +213,8 @@
 	return row
 }
 
-// counted judges what should never happen. That it was not seen does not say that it never happens: what is said is how
-// often it may.
+// compareViolations compares counts of what must never happen. A count of 0 does not show that it never happens: the
+// note gives the upper bound of its rate.
 func (c *Comparison) compareViolations(row *Row, f measure.Figure) string {
 	count := func(runs []*measure.Result) (happened, operations int64) {
 		for _, r := range runs {
@@ -242,7 +245,7 @@
 	return "A " + most(a, storiesA) + "; B " + most(b, storiesB)
 }
 
-// Line says in one line what came of it.
+// Line returns a one-line summary.
 func (c *Comparison) Line() string {
 	row := c.Rows[0]
 	if c.RunsB == nil {
@@ -272,7 +275,7 @@
 	return text + fmt.Sprintf(", over %d seeds", len(c.Seeds))
 }
 
-// Number writes a mean with half of its interval.
+// Number formats a mean with half of its confidence interval.
 func Number(f measure.Figure, i stats.Interval) string {
 	digits := 4
 	if f.Unit == "ms" {
@@ -284,7 +287,7 @@
 	return fmt.Sprintf("%.*f ± %.*f", digits, i.Mean, digits, i.HalfWidth())
 }
 
-// Signed is as Number, with a sign.
+// Signed formats as Number does, with a sign.
 func Signed(f measure.Figure, i stats.Interval) string {
 	text := Number(f, i)
 	if i.Mean >= 0 && !strings.HasPrefix(text, "-") {
@@ -293,7 +296,7 @@
 	return text
 }
 
-// Summary is a comparison without its runs, for other programs.
+// Summary is a comparison without its runs, as JSON has it.
 type Summary struct {
 	Scenario string   `json:"Scenario"`
 	A        string   `json:"A"`
@@ -303,7 +306,7 @@
 	Rows     []Row    `json:"Rows"`
 }
 
-// Summary returns it.
+// Summary returns the comparison's summary.
 func (c *Comparison) Summary() Summary {
 	s := Summary{Scenario: c.Plan.Scenario.Name, A: c.Plan.A.Spec, Line: c.Line(), Seeds: c.Seeds, Rows: c.Rows}
 	if c.Plan.B != nil {
@@ -315,7 +318,7 @@
 // MarshalText writes a verdict as people read it.
 func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
 
-// Claims judges what is claimed of a scenario by the runs of A.
+// Claims evaluates claims by the runs of A.
 func (c *Comparison) Claims(texts []string) ([]claim.Evaluation, error) {
 	var runs []map[string]float64
 	for _, r := range c.RunsA {
--- a/internal/experiment/edit.go
+++ b/internal/experiment/edit.go
@@ -8,8 +8,8 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// edit changes values of a TOML text. Each edit is key=value: the key's parts are parted by dots, and one of a list of
-// tables is meant by its name, its kind or its place from 0; the value is TOML, or a text where it is no TOML.
+// applyEdits changes values of a TOML text. Each edit is key=value: the key's parts are separated by dots, one of a
+// list of tables is meant by its name, its kind or its place from 0; the value is TOML, or a text where it is no TOML.
 func applyEdits(text []byte, edits []string) ([]byte, error) {
 	if len(edits) == 0 {
 		return text, nil
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -25,10 +25,9 @@
 	EvidenceDir string // the folder with the evidence of a failed run; "" is none
 }
 
-// Faults plays a scenario by real processes of a program, with what goes wrong between them, and judges its claims by
-// that one run: a claim that holds there is not proved, one that fails is. What a failed run leaves is kept in a folder
-// of its own below keep: the plan's scenario, the settings, what the processes logged, and all that it came to. Every
-// other instance is a process of beside, where that is given.
+// RunWithFaults plays a scenario by processes of a program, with its faults between them, and evaluates its claims by
+// that run: one run can refute a claim, not prove it. The evidence of a failed run goes to a folder of its own below
+// keep. Every other instance is a process of beside, unless that is empty.
 func RunWithFaults(
 	ctx context.Context, s *scenario.Scenario, v *Variant, program, beside string, seed uint64, keep string,
 ) (*FaultRun, error) {
@@ -66,7 +65,7 @@
 	return f, err
 }
 
-// keep writes the evidence.
+// writeEvidence writes the scenario, settings, log and result of a failed run.
 func (f *FaultRun) writeEvidence(s *scenario.Scenario, v *Variant, plan *scenario.Plan, log *logBuffer) error {
 	if err := os.MkdirAll(f.EvidenceDir, 0o755); err != nil {
 		return err
@@ -104,7 +103,7 @@
 
 const maxLogBytes = 16 << 20
 
-// Write keeps a part of the log.
+// Write appends to the log; what exceeds the bound is dropped.
 func (l *logBuffer) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -114,10 +113,10 @@
 	return len(p), nil
 }
 
-// errorLines is how many lines of the log go with an error.
+// errorLogLines is how many lines of the log an error includes.
 const errorLogLines = 12
 
-// last returns the last lines that were kept.
+// last returns the last n lines.
 func (l *logBuffer) last(n int) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,7 +124,7 @@
 	return strings.Join(all[max(0, len(all)-n):], "\n")
 }
 
-// Summary is a line of the figures that matter where much goes wrong.
+// Summary returns the figures that matter under faults, in one line.
 func (f *FaultRun) Summary() string {
 	var parts []string
 	for _, name := range []string{
--- a/internal/experiment/lab_test.go
+++ b/internal/experiment/lab_test.go
@@ -314,7 +314,8 @@
 	if n := len(c.Seeds); n < 3 || n < 40 && 2*c.Rows[0].Difference.HalfWidth() > plan.TargetWidth {
 		t.Errorf("%d seeds, half width %v", n, c.Rows[0].Difference.HalfWidth())
 	}
-	plan.TargetWidth, plan.MaxSeeds = 1e-9, 5
+	plan.TargetWidth = 1e-9
+	plan.MaxSeeds = 5
 	if c = must[*Comparison](t)((&Runner{}).Compare(context.Background(), plan)); len(c.Seeds) != 5 {
 		t.Errorf("%d seeds, not 5", len(c.Seeds))
 	}
@@ -327,7 +328,8 @@
 		run := func(breaks float64) *measure.Result {
 			return &measure.Result{Operations: 1000, Figures: map[string]float64{"breaks": breaks}}
 		}
-		c.RunsA, c.RunsB = append(c.RunsA, run(0)), append(c.RunsB, run(0))
+		c.RunsA = append(c.RunsA, run(0))
+		c.RunsB = append(c.RunsB, run(0))
 		c.Seeds = append(c.Seeds, uint64(i))
 	}
 	f, _ := measure.Describe("breaks")
--- a/internal/experiment/processes/discovery.go
+++ b/internal/experiment/processes/discovery.go
@@ -8,7 +8,7 @@
 	"dunlinsail/internal/monotime"
 )
 
-// entry is an endpoint's entry for an instance.
+// discoveryEntry returns an endpoint's entry in the endpoint list of an instance.
 func (r *run) discoveryEntry(n, instance int, lifecycle string, started monotime.Micros) discovery.Instance {
 	p := &r.plan.Endpoints[n]
 	e := discovery.Instance{
@@ -23,7 +23,7 @@
 	return e
 }
 
-// entries are those of all endpoints for an instance, as the run begins.
+// discoveryEntries returns an instance's endpoint list at the start of the run.
 func (r *run) discoveryEntries(instance int) (all []discovery.Instance) {
 	for i := range r.plan.Endpoints {
 		started := monotime.Micros(0)
--- a/internal/experiment/processes/run_test.go
+++ b/internal/experiment/processes/run_test.go
@@ -72,7 +72,7 @@
 retries = [1, 2]
 `
 
-func options(t *testing.T, text string) Options {
+func newOptions(t *testing.T, text string) Options {
 	t.Helper()
 	s, err := scenario.Parse([]byte(text), nil)
 	if err != nil {
@@ -112,7 +112,7 @@
 // Whatever goes wrong at endpoints, every story that the plan has is begun and comes to its end, nothing takes effect
 // twice, and no client that waits is left without an answer.
 func TestRunCompletesEveryOperationDespiteFaults(t *testing.T) {
-	o := options(t, world+`
+	o := newOptions(t, world+`
 [[event]]
 what = "kill"
 at = "500ms"
@@ -160,13 +160,13 @@
 
 // A daemon that cannot start, or ends while it is wanted, is told at once. One that the plan kills comes back.
 func TestRunReportsDaemonThatExitsUnexpectedly(t *testing.T) {
-	o := options(t, world)
+	o := newOptions(t, world)
 	o.Daemon = "/bin/false"
 	began := time.Now()
 	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > scriptedpeer.WaitTimeout {
 		t.Errorf("after %v: %v", time.Since(began), err)
 	}
-	o = options(t, world+"[[event]]\nwhat = \"restart\"\nat = \"1s\"\nfor = \"500ms\"\n")
+	o = newOptions(t, world+"[[event]]\nwhat = \"restart\"\nat = \"1s\"\nfor = \"500ms\"\n")
 	got, err := Run(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -180,7 +180,7 @@
 func TestRunStopsWhenContextIsCancelled(t *testing.T) {
 	ctx, cancel := context.WithTimeoutCause(t.Context(), 1500*time.Millisecond, errors.New("enough"))
 	defer cancel()
-	if _, err := Run(ctx, options(t, world)); err == nil || err.Error() != "enough" {
+	if _, err := Run(ctx, newOptions(t, world)); err == nil || err.Error() != "enough" {
 		t.Error(err)
 	}
 }
--- a/internal/experiment/prove.go
+++ b/internal/experiment/prove.go
@@ -7,11 +7,11 @@
 	"dunlinsail/internal/simulation/scenario"
 )
 
-// Proof says how often comparisons of a kind are right.
+// Proof is how often comparisons with a known outcome are right.
 type Proof struct {
 	Comparisons  int
-	Inconclusive stats.Interval // of a variant with itself, with other lots: they ought to say so
-	Found        stats.Interval // of a variant with itself and a known harm: worse, as it is
+	Inconclusive stats.Interval // of a variant with itself, with another decision seed: all ought to be
+	Found        stats.Interval // of a variant with itself and a known harm: all ought to be worse
 	Harm         float64
 }
 
@@ -45,6 +45,7 @@
 		}
 	}
 	n := int64(comparisons)
-	p.Inconclusive, p.Found = stats.RateInterval(same, n, Confidence), stats.RateInterval(found, n, Confidence)
+	p.Inconclusive = stats.RateInterval(same, n, Confidence)
+	p.Found = stats.RateInterval(found, n, Confidence)
 	return p, nil
 }
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -83,7 +83,7 @@
 // recordedOperations are the operations of a record by instance; it is a plan's source of operations.
 type recordedOperations [][]simclient.Operation
 
-// Stories gives those of an instance.
+// Operations returns the operations of an instance, one a call.
 func (r recordedOperations) Operations(instance int) func() (simclient.Operation, bool) {
 	at := 0
 	return func() (s simclient.Operation, ok bool) {
--- a/internal/experiment/replay_test.go
+++ b/internal/experiment/replay_test.go
@@ -36,7 +36,7 @@
 
 // Of a record that is full of retries only the first tries are played again: a variant under which less goes wrong sees
 // as many stories as there were, and not the retries that another caused.
-func TestReplayKeepsFirstTries(t *testing.T) {
+func TestReplayKeepsFirstRequests(t *testing.T) {
 	dir, was := recorded(t, storm(t))
 	rec := must[*accesslog.Recording](t)(accesslog.Read(dir))
 	if all := rec.Check(); len(all) != 0 {
@@ -145,7 +145,8 @@
 		"clients.load=0.5", "length=30s", "clients.backoff=20ms..60ms", "clients.honour_retry_after=0.0",
 	}, 0, 0))
 	s.Shape = []scenario.RatePoint{{Factor: 0.3}, {Factor: 0.3}, {Factor: 3}}
-	s.Shape[1].At.Duration, s.Shape[2].At.Duration = 15e9, 30e9
+	s.Shape[1].At.Duration = 15e9
+	s.Shape[2].At.Duration = 30e9
 	dir, was := recorded(t, s)
 	base := must[*scenario.Scenario](t)(Resize(storm(t), []string{
 		"class.book.work=10ms", "class.open-slots.share=0.1", "clients.retries=[0, 0]", "fleet.instances=1",
--- a/internal/experiment/report/charts.go
+++ b/internal/experiment/report/charts.go
@@ -41,7 +41,8 @@
 
 func newPlot(x, y string) *plot.Plot {
 	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = x, y
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
 	p.Legend.Top = true
 	p.Legend.Left = false
 	// A browser without the plot's own font shows a wider one: small text keeps within the picture.
@@ -49,7 +50,8 @@
 		&p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font, &p.X.Tick.Label.Font, &p.Y.Tick.Label.Font,
 		&p.Legend.TextStyle.Font,
 	} {
-		f.Size, f.Variant = vg.Points(9), "Sans"
+		f.Size = vg.Points(9)
+		f.Variant = "Sans"
 	}
 	p.Add(plotter.NewGrid())
 	return p
@@ -165,12 +167,15 @@
 	if err != nil {
 		return "", err
 	}
-	errs.Color, errs.Width = colourB, vg.Points(1.5)
+	errs.Color = colourB
+	errs.Width = vg.Points(1.5)
 	dots, err := plotter.NewScatter(all.XYs)
 	if err != nil {
 		return "", err
 	}
-	dots.Color, dots.Shape, dots.Radius = colourB, draw.CircleGlyph{}, vg.Points(3)
+	dots.Color = colourB
+	dots.Shape = draw.CircleGlyph{}
+	dots.Radius = vg.Points(3)
 	zero, err := plotter.NewLine(plotter.XYs{{X: 0, Y: -0.5}, {X: 0, Y: float64(len(names)) - 0.5}})
 	if err != nil {
 		return "", err
@@ -207,7 +212,8 @@
 			if err != nil {
 				return "", err
 			}
-			line.Color, line.Width = s.line, vg.Points(1.2)
+			line.Color = s.line
+			line.Width = vg.Points(1.2)
 			line.Dashes = dashes[i%len(dashes)]
 			p.Add(line)
 			p.Legend.Add(s.name+" "+s.runs[0].Classes[i].Name, line)
@@ -260,15 +266,18 @@
 		if err != nil {
 			return "", err
 		}
-		bar.Color, bar.LineStyle.Width = s.line, 0
+		bar.Color = s.line
+		bar.LineStyle.Width = 0
 		bar.Offset = wide * (vg.Length(k) - vg.Length(len(all)-1)/2)
 		p.Add(bar)
 		p.Legend.Add(s.name, bar)
 	}
 	p.NominalX(names...)
 	p.X.Tick.Label.Rotation = math.Pi / 3
-	p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = draw.XRight, draw.YCenter
-	p.Y.Min, p.Y.Max = 0, 1
+	p.X.Tick.Label.XAlign = draw.XRight
+	p.X.Tick.Label.YAlign = draw.YCenter
+	p.Y.Min = 0
+	p.Y.Max = 1
 	return svg(p, 8*vg.Centimeter)
 }
 
@@ -385,7 +394,9 @@
 			return "", err
 		}
 		c := []color.Color{colourA, colourB, grey}[k%3]
-		line.Color, line.Width, line.Dashes = c, vg.Points(1.5), dashes[k/3%len(dashes)]
+		line.Color = c
+		line.Width = vg.Points(1.5)
+		line.Dashes = dashes[k/3%len(dashes)]
 		bars.Color = c
 		p.Add(line, bars)
 		if len(s.Axes) == 2 {
--- a/internal/experiment/report/report.go
+++ b/internal/experiment/report/report.go
@@ -149,7 +149,9 @@
 		d.Method = "Intervals are by percentiles of the bootstrap, of the differences pair by pair."
 	}
 	if p.B != nil {
-		d.Title, d.B, d.Comparing = "Two variants compared", p.B.Spec, true
+		d.Title = "Two variants compared"
+		d.B = p.B.Spec
+		d.Comparing = true
 	}
 	for _, c := range all {
 		s := c.Plan.Scenario
@@ -168,7 +170,8 @@
 		for _, r := range c.Rows {
 			text := row{Name: r.Name, About: r.Description, A: experiment.Number(r.Figure, r.A), Note: r.Note}
 			if c.RunsB != nil {
-				text.B, text.Difference = experiment.Number(r.Figure, r.B), experiment.Signed(r.Figure, r.Difference)
+				text.B = experiment.Number(r.Figure, r.B)
+				text.Difference = experiment.Signed(r.Figure, r.Difference)
 				if r.Verdict != experiment.Inconclusive {
 					text.Class = r.Verdict.String()
 					text.Note = strings.TrimSpace(text.Class + " " + text.Note)
--- a/internal/experiment/report/report_test.go
+++ b/internal/experiment/report/report_test.go
@@ -53,8 +53,11 @@
 			t.Fatal(err)
 		}
 		d := xml.NewDecoder(strings.NewReader(string(text)))
-		d.Strict, d.AutoClose, d.Entity = false, xml.HTMLAutoClose, xml.HTMLEntity
-		pictures, rows := 0, 0
+		d.Strict = false
+		d.AutoClose = xml.HTMLAutoClose
+		d.Entity = xml.HTMLEntity
+		pictures := 0
+		rows := 0
 		for {
 			token, err := d.Token()
 			if errors.Is(err, io.EOF) {
--- a/internal/experiment/resize.go
+++ b/internal/experiment/resize.go
@@ -9,7 +9,8 @@
 // Resize returns a scenario with edits (KEY=VALUE), and with so many instances and endpoints; 0 leaves them.
 func Resize(s *scenario.Scenario, edits []string, instances, nodes int) (*scenario.Scenario, error) {
 	if nodes > 0 {
-		all, left := 0, nodes
+		all := 0
+		left := nodes
 		for _, n := range s.EndpointKinds {
 			all += n.Count
 		}
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -28,7 +28,7 @@
 	Job     Job
 }
 
-// build returns what tells a program's build from others.
+// buildID returns the digest of a program, cached.
 func (r *Runner) buildID(program string) (string, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,11 +91,11 @@
 	return results, nil
 }
 
-// memoMost bounds how many results a runner holds; beyond it, it begins anew.
+// maxMemoized bounds the results that a runner holds in memory; it drops all of them when it is reached.
 const maxMemoized = 2000
 
-// one makes a run, unless its result is held or kept.
-func (r *Runner) runTask(ctx context.Context, t *Task) (result *measure.Result, kept bool, err error) {
+// runTask returns the result of a run, from memory or the store if it is there.
+func (r *Runner) runTask(ctx context.Context, t *Task) (result *measure.Result, cached bool, err error) {
 	build, err := r.buildID(t.Variant.Program)
 	if err != nil {
 		return nil, false, err
@@ -114,16 +114,16 @@
 		if result, err = r.Store.Get(key); err != nil {
 			return nil, false, err
 		}
-		kept = result != nil
+		cached = result != nil
 	}
 	switch {
-	case kept:
+	case cached:
 	case t.Variant.Program == "":
 		result, err = t.Job.Play(ctx)
 	default:
 		result, _, err = t.Job.playWith(ctx, t.Variant.Program)
 	}
-	if err == nil && !kept && r.Store != nil {
+	if err == nil && !cached && r.Store != nil {
 		err = r.Store.Put(key, result)
 	}
 	if err != nil {
@@ -135,5 +135,5 @@
 		r.results = map[string]*measure.Result{}
 	}
 	r.results[string(key)] = result
-	return result, kept, nil
+	return result, cached, nil
 }
--- a/internal/experiment/scale.go
+++ b/internal/experiment/scale.go
@@ -31,7 +31,7 @@
 	Result        *measure.Result `json:"Result"`
 }
 
-// Scaling says what runs are made.
+// Scaling are the options of runs that measure their cost.
 type Scaling struct {
 	Scenario   *scenario.Scenario
 	Variant    *Variant
@@ -58,7 +58,8 @@
 	run.Length = time.Duration(float64(sc.Operations) / run.Rate * float64(time.Second)).Round(10 * time.Millisecond)
 	run.Length = min(max(run.Length, time.Second), 10*time.Minute)
 	s.Length = stricttoml.Duration{Duration: run.Length}
-	s.Events, s.Shape = nil, nil
+	s.Events = nil
+	s.Shape = nil
 	j, err := sc.Variant.Job(s, sc.Variant, sc.Seed)
 	if err != nil {
 		return nil, err
@@ -73,7 +74,8 @@
 	if run.Result, state, err = j.playWith(ctx, program, sc.Env...); err != nil {
 		return nil, fmt.Errorf("%d instances on %d endpoints: %w", z.Instances, z.Endpoints, err)
 	}
-	run.Operations, run.Decisions = run.Result.Operations, run.Result.Costs.Decisions
+	run.Operations = run.Result.Operations
+	run.Decisions = run.Result.Costs.Decisions
 	run.ProcessorTime = state.UserTime() + state.SystemTime()
 	if usage, ok := state.SysUsage().(*syscall.Rusage); ok {
 		run.Memory = usage.Maxrss << 10 // getrusage(2): in KiB
--- a/internal/experiment/search.go
+++ b/internal/experiment/search.go
@@ -21,7 +21,7 @@
 	Against   *Variant           // that is to do well there; nil: what is left of the endpoints could have served
 	Budget    int                // runs of Variant, about, a third of them to shrink what is found
 	Seed      uint64
-	OnFinding func(Finding) // told of each that is worse than all before; may be nil
+	OnFinding func(Finding) // called for each that is worse than all before; may be nil
 }
 
 // Finding is a plan at which a variant does badly.
@@ -50,21 +50,22 @@
 	minRemainingLoss = 0.8 // of its loss must be left in what is made small
 )
 
-// Hunt looks for the plan at which a variant does worst, and makes it small: what is left of it matters. It is a search
-// by chance and by changing what is bad already: that nothing is found says little.
+// Search looks for the plan at which a variant does worst, and shrinks it to what matters. It draws plans at random and
+// mutates the worst ones: that it finds nothing says little. Results depend on the seed only.
 func (r *Runner) Search(ctx context.Context, h SearchOptions) (*Finding, error) {
 	x := &search{SearchOptions: h, runner: r, rng: rand.New(rand.NewPCG(h.Seed, 11))}
-	least := int(randomFraction * float64(h.Budget))
-	most := int((1 - shrinkFraction) * float64(h.Budget))
-	for x.runs < most {
+	randomRuns := int(randomFraction * float64(h.Budget))
+	searchRuns := int((1 - shrinkFraction) * float64(h.Budget))
+	for x.runs < searchRuns {
 		var batch []*Finding
-		for range min(searchBatch, most-x.runs) {
+		for range min(searchBatch, searchRuns-x.runs) {
 			c := &Finding{Scenario: h.Scenario.Clone(), Seed: 1 + x.rng.Uint64N(1<<32)}
-			if x.runs < least || len(x.candidates) == 0 {
+			if x.runs < randomRuns || len(x.candidates) == 0 {
 				x.drawEvents(c.Scenario)
 			} else {
 				from := x.candidates[x.rng.IntN(len(x.candidates))]
-				c.Scenario, c.Seed = from.Scenario.Clone(), from.Seed
+				c.Scenario = from.Scenario.Clone()
+				c.Seed = from.Seed
 				x.mutate(c)
 			}
 			batch = append(batch, c)
@@ -95,6 +96,7 @@
 	return x.shrink(ctx)
 }
 
+// search is the state of a search.
 type search struct {
 	SearchOptions
 	runner     *Runner
@@ -103,6 +105,7 @@
 	candidates []*Finding
 }
 
+// worst returns the worst candidate so far, nil before the first.
 func (x *search) worst() *Finding {
 	if len(x.candidates) == 0 {
 		return nil
@@ -110,7 +113,7 @@
 	return x.candidates[0]
 }
 
-// try plays plans, and notes how bad each is.
+// evaluate plays plans and sets the loss of each.
 func (x *search) evaluate(ctx context.Context, all []*Finding) error {
 	var tasks []Task
 	for _, c := range all {
@@ -136,18 +139,20 @@
 			got = results[i]
 			c.Loss = c.Scenario.Draw(c.Seed).MaxServableShare() - got.Figures["served"]
 		} else {
-			got, other = results[2*i], results[2*i+1]
+			got = results[2*i]
+			other = results[2*i+1]
 			c.Loss = other.Figures["service"] - got.Figures["service"]
 		}
-		c.Service, c.Violations = got.Figures["service"], got.Figures["breaks"]
+		c.Service = got.Figures["service"]
+		c.Violations = got.Figures["breaks"]
 	}
 	return nil
 }
 
-// span is a time that is settled.
+// fixedSpan returns a span of a single value.
 func fixedSpan(d time.Duration) *stricttoml.Span { return &stricttoml.Span{From: d, To: d} }
 
-// kinds are the events that are drawn, with the sizes that they may have.
+// eventKinds are the events that are drawn, with the range of their sizes.
 var eventKinds = []struct {
 	what  string
 	sizes [2]float64
@@ -168,7 +173,7 @@
 	{"cut", [2]float64{}, false},
 }
 
-// event draws one.
+// drawEvent draws an event.
 func (x *search) drawEvent(s *scenario.Scenario) scenario.Event {
 	length := s.Length.Duration
 	k := eventKinds[x.rng.IntN(len(eventKinds))]
@@ -210,7 +215,7 @@
 	return e
 }
 
-// draw draws all events of a scenario.
+// drawEvents draws all events of a scenario.
 func (x *search) drawEvents(s *scenario.Scenario) {
 	s.Events = nil
 	for range 1 + x.rng.IntN(3) {
@@ -218,7 +223,7 @@
 	}
 }
 
-// change changes one thing of a plan.
+// mutate changes one property of a plan.
 func (x *search) mutate(c *Finding) {
 	s := c.Scenario
 	if len(s.Events) == 0 {
@@ -231,7 +236,8 @@
 		if span != nil {
 			d := time.Duration(float64(span.From) * math.Exp(0.5*x.rng.NormFloat64())).Round(10 * time.Millisecond)
 			d = min(max(d, 10*time.Millisecond), s.Length.Duration*9/10)
-			span.From, span.To = d, d
+			span.From = d
+			span.To = d
 		}
 	}
 	switch x.rng.IntN(7) {
@@ -286,7 +292,8 @@
 			}
 			if !enough.worse(smaller) {
 				smaller.Runs = x.runs
-				found, changed = smaller, true
+				found = smaller
+				changed = true
 				break
 			}
 		}
--- a/internal/experiment/stats/stats.go
+++ b/internal/experiment/stats/stats.go
@@ -1,5 +1,4 @@
-// Package stats says how far measured differences may be believed. It knows numbers, and nothing of where they come
-// from.
+// Package stats computes confidence intervals and tests of measured figures. It must not import what measures them.
 package stats
 
 import (
@@ -22,8 +21,8 @@
 // HalfWidth is half of the interval's width.
 func (i Interval) HalfWidth() float64 { return (i.High - i.Low) / 2 }
 
-// StudentT returns the mean of some numbers with Student's interval of a confidence such as 0.95. Of fewer than two numbers it
-// is without end.
+// StudentT returns the mean of some numbers with Student's interval of a confidence such as 0.95. Of fewer than two
+// numbers it is without end.
 func StudentT(v []float64, confidence float64) Interval {
 	if len(v) < 2 {
 		i := Interval{Low: math.Inf(-1), High: math.Inf(1), N: len(v)}
@@ -62,7 +61,8 @@
 	}
 }
 
-// PredictionInterval returns the mean of some numbers, and the interval in which one more of their kind lies with a confidence.
+// PredictionInterval returns the mean of some numbers, and the interval in which one more of their kind lies with a
+// confidence.
 func PredictionInterval(v []float64, confidence float64) Interval {
 	i := StudentT(v, confidence)
 	if len(v) < 2 {
@@ -82,14 +82,15 @@
 	return d
 }
 
-// RateInterval returns the part of trials in which something happened, with the exact interval (Clopper, Pearson 1934): that it
-// has not been seen does not say that it never happens.
+// RateInterval returns the part of trials in which something happened, with the exact interval (Clopper, Pearson 1934):
+// that it has not been seen does not say that it never happens.
 func RateInterval(happened, trials int64, confidence float64) Interval {
 	if trials <= 0 {
 		return Interval{Low: 0, High: 1}
 	}
 	tail := (1 - confidence) / 2
-	k, n := float64(happened), float64(trials)
+	k := float64(happened)
+	n := float64(trials)
 	i := Interval{Mean: k / n, Low: 0, High: 1, N: int(trials)}
 	if happened > 0 {
 		i.Low = distuv.Beta{Alpha: k, Beta: n - k + 1}.Quantile(tail)
@@ -100,8 +101,8 @@
 	return i
 }
 
-// RateEqualityPValue returns how likely two counts of the same exposure are at least as unlike as these, if what is counted is as
-// frequent in both (the exact conditional test of Przyborowski and Wilenski, 1940).
+// RateEqualityPValue returns how likely two counts of the same exposure are at least as unlike as these, if what is
+// counted is as frequent in both (the exact conditional test of Przyborowski and Wilenski, 1940).
 func RateEqualityPValue(a, b int64) float64 {
 	n := a + b
 	if n == 0 {
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -98,7 +98,7 @@
 	return n, err
 }
 
-// key is what a job of a build is known by.
+// storeKey returns the key of a job of a build.
 func (j *Job) storeKey(build string) ([]byte, error) {
 	text, err := json.Marshal(j)
 	if err != nil {
--- a/internal/experiment/sweep.go
+++ b/internal/experiment/sweep.go
@@ -24,13 +24,13 @@
 	return a, nil
 }
 
-// Point is a place of a sweep.
+// Point is a combination of values of a sweep.
 type Point struct {
 	Values []string // of each axis
 	*Comparison
 }
 
-// Sweep is what came of one.
+// Sweep is the result of a sweep.
 type Sweep struct {
 	Axes   []Axis
 	Points []Point // the last axis goes fastest; the first point is what the others are compared with
@@ -63,9 +63,11 @@
 			return nil, err
 		}
 		one := p
-		one.A, one.B = v, nil
+		one.A = v
+		one.B = nil
 		if len(s.Points) > 0 {
-			one.A, one.B = s.Points[0].Plan.A, v
+			one.A = s.Points[0].Plan.A
+			one.B = v
 		}
 		c, err := r.Compare(ctx, one)
 		if err != nil {
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -87,10 +87,12 @@
 	return v, nil
 }
 
-// splitEdits parts a spec at its commas, but for those within brackets or quotes.
+// splitEdits splits a spec at its commas, except for those within brackets or quotes.
 func splitEdits(spec string) []string {
 	var parts []string
-	depth, quoted, from := 0, false, 0
+	depth := 0
+	quoted := false
+	from := 0
 	for i, c := range spec {
 		switch {
 		case c == '"':
@@ -119,7 +121,7 @@
 }
 
 // Job returns the run of a variant in a scenario, judged by another variant's file.
-func (v *Variant) Job(s *scenario.Scenario, judge *Variant, seed uint64) (Job, error) {
+func (v *Variant) Job(s *scenario.Scenario, criteriaFrom *Variant, seed uint64) (Job, error) {
 	if s.Replay != nil {
 		own := *s.Replay
 		var err error
@@ -139,7 +141,7 @@
 	return Job{
 		Scenario:         string(text),
 		Settings:         string(v.Settings),
-		CriteriaSettings: string(judge.Settings),
+		CriteriaSettings: string(criteriaFrom.Settings),
 		Seed:             seed,
 		DecisionSeed:     v.DecisionSeed,
 		Harm:             v.Harm,
@@ -161,7 +163,8 @@
 		return nil, fmt.Errorf("settings to judge by: %w", err)
 	}
 	set := modelSettings(own)
-	set.DecisionSeed, set.KnownHarm = j.DecisionSeed, j.Harm
+	set.DecisionSeed = j.DecisionSeed
+	set.KnownHarm = j.Harm
 	o := simulation.Options{Plan: s.Draw(j.Seed), Settings: set, Criteria: criteria(judged)}
 	if s.Replay != nil {
 		if o.Plan.Source, err = replayRecord(o.Plan); err != nil {
@@ -174,7 +177,7 @@
 	return simulation.Run(ctx, o)
 }
 
-// settings returns what the model takes of a daemon's file.
+// modelSettings returns the simulation's settings of a daemon's file.
 func modelSettings(c *config.Config) *simulation.Settings {
 	s := &simulation.Settings{
 		Site:           c.Site,
@@ -195,7 +198,7 @@
 	return s
 }
 
-// judge returns by what runs of a file are judged.
+// criteria returns the criteria by which runs of a file are measured.
 func criteria(c *config.Config) measure.Criteria {
 	s := &c.Site.Settings
 	limits := map[string]float64{}
@@ -212,9 +215,9 @@
 	}
 }
 
-// Reply is what another build says of a run.
+// Reply is another build's reply to a job.
 type Reply struct {
-	ModelVersion int             `json:"world"` // model.Version
+	ModelVersion int             `json:"world"` // simulation.Version
 	Result       *measure.Result `json:"result,omitempty"`
 	Error        string          `json:"error,omitempty"`
 }
@@ -233,7 +236,7 @@
 	return json.Marshal(reply)
 }
 
-// ask has a program play a job, another build's perhaps, and tells what its process has used.
+// playWith has a program play a job, perhaps another build, and returns the result and the state of its process.
 func (j *Job) playWith(ctx context.Context, program string, env ...string) (*measure.Result, *os.ProcessState, error) {
 	text, err := json.Marshal(j)
 	if err != nil {
