--- a/internal/accesslog/writer.go
+++ b/internal/accesslog/writer.go
@@ -16,7 +16,7 @@
 	"github.com/parquet-go/parquet-go/compress/zstd"
 )
 
-// Options say how a Writer writes.
+// Options configure a Writer.
 type Options struct {
 	Dir      string
 	Instance string        // its name, a part of the segments' names
@@ -28,7 +28,7 @@
 	Now      func() time.Time // the system's clock; nil is time.Now
 }
 
-// Writer writes a record. It never waits for the disk: what cannot be written in time is dropped, counted and told.
+// Writer writes access records. Add never waits for the disk: rows that cannot be written in time are dropped and counted.
 type Writer struct {
 	options Options
 	process string // of this run, a part of the segments' names
@@ -93,7 +93,7 @@
 	return int(id), err == nil
 }
 
-// processAlive says whether a process is there: a taker begins to write while its giver still does.
+// processAlive reports whether a process runs: a successor starts to write while its predecessor still does.
 func processAlive(pid int) bool {
 	return pid == os.Getpid() || syscall.Kill(pid, 0) == nil
 }
@@ -110,8 +110,15 @@
 	if strings.ContainsAny(o.Instance, "/\\\x00") || o.Instance == "" {
 		return nil, fmt.Errorf("instance %q cannot be a part of a file's name", o.Instance)
 	}
-	w := &Writer{options: o, process: strconv.FormatInt(o.Now().UnixMilli(), 36) + "p" + strconv.FormatInt(int64(os.Getpid()), 36), segmentStart: o.Now(), pending: make(chan segment, maxPendingSegments), done: make(chan struct{}),
-		tick: time.NewTicker(max(o.Age/4, 10*time.Millisecond))}
+	process := strconv.FormatInt(o.Now().UnixMilli(), 36) + "p" + strconv.FormatInt(int64(os.Getpid()), 36)
+	w := &Writer{
+		options:      o,
+		process:      process,
+		segmentStart: o.Now(),
+		pending:      make(chan segment, maxPendingSegments),
+		done:         make(chan struct{}),
+		tick:         time.NewTicker(max(o.Age/4, 10*time.Millisecond)),
+	}
 	entries, err := os.ReadDir(o.Dir)
 	if err != nil {
 		return nil, err
@@ -159,7 +166,8 @@
 	default:
 		w.dropped += int64(len(s.rows))
 	}
-	w.rows, w.segmentStart = nil, w.options.Now()
+	w.rows = nil
+	w.segmentStart = w.options.Now()
 }
 
 // run writes segments, and ends those that have grown old.
@@ -240,9 +248,19 @@
 			os.Remove(part)
 		}
 	}()
-	p := parquet.NewGenericWriter[Row](f, parquet.Compression(&zstd.Codec{Level: zstd.SpeedFastest}), parquet.CreatedBy("dunlinsail", fmt.Sprint(Version), ""))
-	for key, v := range map[string]string{"version": fmt.Sprint(Version), "instance": w.options.Instance, "process": w.process, "sample": strconv.FormatFloat(w.options.Sample, 'g', -1, 64),
-		"dropped": fmt.Sprint(s.dropped), "began_wall_us": fmt.Sprint(s.began.UnixMicro()), "ended_wall_us": fmt.Sprint(w.options.Now().UnixMicro())} {
+	p := parquet.NewGenericWriter[Row](f,
+		parquet.Compression(&zstd.Codec{Level: zstd.SpeedFastest}),
+		parquet.CreatedBy("dunlinsail", fmt.Sprint(Version), ""))
+	metadata := map[string]string{
+		"version":       fmt.Sprint(Version),
+		"instance":      w.options.Instance,
+		"process":       w.process,
+		"sample":        strconv.FormatFloat(w.options.Sample, 'g', -1, 64),
+		"dropped":       fmt.Sprint(s.dropped),
+		"began_wall_us": fmt.Sprint(s.began.UnixMicro()),
+		"ended_wall_us": fmt.Sprint(w.options.Now().UnixMicro()),
+	}
+	for key, v := range metadata {
 		p.SetKeyValueMetadata(key, v)
 	}
 	if _, err = p.Write(s.rows); err != nil {
