Rename the playground's types and fields to standard terms

cast, desk, trouble, broken and say are clientSpecs, listenAddr, injectFault, failures and logEvent.

--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -48,8 +48,8 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	p := &play{o: o, dir: dir, began: time.Now(), figures: map[string]*figures{}}
-	defer p.end()
+	p := &playground{options: o, dir: dir, startedAt: time.Now(), figures: map[string]*figures{}}
+	defer p.stop()
 	if err := p.start(stop); err != nil {
 		return err
 	}
@@ -60,31 +60,31 @@
 		case <-tick.C:
 		case <-stop.Done():
 			return nil
-		case err := <-p.broken:
+		case err := <-p.failures:
 			return err
 		}
 		if !o.Quiet {
-			p.trouble(second)
+			p.injectFault(second)
 		}
-		p.screen(second)
+		p.printScreen(second)
 	}
 }
 
 // play is what runs.
-type play struct {
-	o      Options
-	dir    string
-	desk   string // address of the TCP listener
-	began  time.Time
-	broken chan error
+type playground struct {
+	options    Options
+	dir        string
+	listenAddr string // address of the TCP listener
+	startedAt  time.Time
+	failures   chan error
 
-	roster    *discoveryserver.Server
-	ledger    *endpoint.Ledger
-	endpoints []*node
-	files     []*node // the pool that is listed in the file
-	daemon    *program
-	programs  []*program
-	over      bool
+	discovery     *discoveryserver.Server
+	ledger        *endpoint.Ledger
+	endpoints     []*listedEndpoint
+	fileEndpoints []*listedEndpoint // the pool that is listed in the file
+	daemon        *program
+	programs      []*program
+	ending        bool
 
 	mu      sync.Mutex
 	figures map[string]*figures
@@ -92,70 +92,70 @@
 }
 
 // node is a stand-in endpoint and its entry in the roster.
-type node struct {
+type listedEndpoint struct {
 	*endpoint.Server
-	entry  discovery.Instance
-	served int // when last looked
+	entry      discovery.Instance
+	lastServed int // when last looked
 }
 
 // figures are a client's of the present second, and of all.
 type figures struct {
-	by   [client.VerdictCount]int
-	took []time.Duration
-	all  [client.VerdictCount]int
+	byVerdict [client.VerdictCount]int
+	latencies []time.Duration
+	totals    [client.VerdictCount]int
 }
 
 // cast are the client processes: the last asks for far more than its share, now and then.
-var cast = []struct {
+var clientSpecs = []struct {
 	name, network string
 	rate          float64
 }{{"desk-1", "tcp", 60}, {"desk-2", "tcp", 40}, {"phone-1", "unix", 30}, {"phone-2", "unix", 30}, {"report", "unix", 500}}
 
 const (
-	nodes      = 6
-	filesNodes = 2
-	nodeCores  = 2
-	nodeWork   = 15 * time.Millisecond
+	poolEndpoints     = 6
+	fileEndpointCount = 2
+	endpointCores     = 2
+	serviceTime       = 15 * time.Millisecond
 )
 
-func (p *play) start(stop context.Context) error {
-	p.broken = make(chan error, 1)
+func (p *playground) start(stop context.Context) error {
+	p.failures = make(chan error, 1)
 	var entries []discovery.Instance
 	p.ledger = &endpoint.Ledger{}
-	for i := range nodes {
-		n, err := p.node(i)
+	for i := range poolEndpoints {
+		n, err := p.startEndpoint(i)
 		if err != nil {
 			return err
 		}
 		p.endpoints = append(p.endpoints, n)
 		entries = append(entries, n.entry)
 	}
-	for i := range filesNodes {
-		n, err := p.node(nodes + i)
+	for i := range fileEndpointCount {
+		n, err := p.startEndpoint(poolEndpoints + i)
 		if err != nil {
 			return err
 		}
 		n.entry.ID, n.entry.Zone, n.entry.Lifecycle = "files "+n.Addr, "-", "listed"
-		p.files = append(p.files, n)
+		p.fileEndpoints = append(p.fileEndpoints, n)
 	}
 	var err error
-	if p.roster, err = discoveryserver.Start(entries...); err != nil {
+	if p.discovery, err = discoveryserver.Start(entries...); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	p.desk = ln.Addr().String()
+	p.listenAddr = ln.Addr().String()
 	ln.Close()
-	if err := os.WriteFile(p.file(), []byte(p.config()), 0o600); err != nil {
+	if err := os.WriteFile(p.configPath(), []byte(p.config()), 0o600); err != nil {
 		return err
 	}
-	if err := p.serve(stop); err != nil {
+	if err := p.startDaemon(stop); err != nil {
 		return err
 	}
-	for i, c := range cast {
-		o := client.Options{Name: c.name, Network: c.network, Addr: p.desk, Tenant: "acme", Rate: c.rate, Duration: 1e6 * time.Hour,
+	for i, c := range clientSpecs {
+		o := client.Options{Name: c.name, Network: c.network, Addr: p.listenAddr, Tenant: "acme", Rate: c.rate, Duration: 1e6 * time.Hour,
 			MaxOpen: 500, Seed: uint64(i), Classes: []client.Class{
 				{Name: "open-slots", Share: 0.5, Method: "GET", Timeout: 500 * time.Millisecond},
 				{Name: "chair-status", Share: 0.25, Method: "GET", Timeout: 500 * time.Millisecond},
@@ -164,7 +164,7 @@
 		if c.network == "unix" {
 			o.Addr = filepath.Join(p.dir, "clients.sock")
 		}
-		if err := p.client(c.name, o); err != nil {
+		if err := p.startClient(c.name, o); err != nil {
 			return err
 		}
 	}
@@ -172,31 +172,31 @@
 }
 
 // node starts an endpoint.
-func (p *play) node(i int) (*node, error) {
+func (p *playground) startEndpoint(i int) (*listedEndpoint, error) {
 	zones := []string{"heredia", "san-jose", "cartago"}
-	o := endpoint.Options{Name: fmt.Sprint("s-", i), ServiceTime: map[string]time.Duration{"": nodeWork, "book": 2 * nodeWork},
-		Spread: 0.3, Cores: nodeCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger}
-	if time.Since(p.began) > time.Second { // one that starts while all run is cold
+	o := endpoint.Options{Name: fmt.Sprint("s-", i), ServiceTime: map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
+		Spread: 0.3, Cores: endpointCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger}
+	if time.Since(p.startedAt) > time.Second { // one that starts while all run is cold
 		o.WarmupStartSpeed, o.WarmupTime = 0.2, 10*time.Second
 	}
 	s, err := endpoint.Start(o)
 	if err != nil {
 		return nil, err
 	}
-	s.SetFaults(taken)
+	s.SetFaults(slotTaken)
 	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Address: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
 		Lifecycle: "up", Weight: 1}
 	if o.WarmupTime > 0 {
 		e.StartedMs = time.Now().UnixMilli()
 	}
-	return &node{Server: s, entry: e}, nil
+	return &listedEndpoint{Server: s, entry: e}, nil
 }
 
-func (p *play) file() string { return filepath.Join(p.dir, "playground.toml") }
+func (p *playground) configPath() string { return filepath.Join(p.dir, "playground.toml") }
 
-func (p *play) config() string {
+func (p *playground) config() string {
 	var files, routes []string
-	for _, n := range p.files {
+	for _, n := range p.fileEndpoints {
 		files = append(files, strconv.Quote(n.Addr))
 	}
 	for _, r := range [][2]string{{"open-slots", "agenda"}, {"chair-status", "agenda"}, {"book", "agenda"}, {"files", "files"}} {
@@ -210,7 +210,7 @@
 	return `name = "playground"
 [[pool]]
 name = "agenda"
-discovery = "` + p.roster.Addr + `"
+discovery = "` + p.discovery.Addr + `"
 [[pool]]
 name = "files"
 endpoints = [` + strings.Join(files, ", ") + `]
@@ -218,7 +218,7 @@
 socket = "` + p.dir + `/takeover.sock"
 [[listener]]
 name = "desk"
-address = "` + p.desk + `"
+address = "` + p.listenAddr + `"
 client = "desk"
 [[listener]]
 name = "local"
@@ -279,8 +279,8 @@
 }
 
 // spawn starts a program. What it prints goes to out, if that is not nil, and its log to a file.
-func (p *play) spawn(in io.Reader, out io.Writer, log string, args ...string) (*program, error) {
-	cmd := exec.Command(p.o.Program, args...)
+func (p *playground) spawn(in io.Reader, out io.Writer, log string, args ...string) (*program, error) {
+	cmd := exec.Command(p.options.Program, args...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is ours to pass on
 	cmd.Stdin, cmd.Stdout = in, out
 	file, err := os.OpenFile(filepath.Join(p.dir, log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -304,9 +304,9 @@
 }
 
 // serve starts a daemon, which takes over from the one that serves, if any, and waits until it serves.
-func (p *play) serve(stop context.Context) error {
+func (p *playground) startDaemon(stop context.Context) error {
 	serving, says := io.Pipe()
-	x, err := p.spawn(nil, says, "daemon.log", "--config", p.file(), "--announce")
+	x, err := p.spawn(nil, says, "daemon.log", "--config", p.configPath(), "--announce")
 	if err != nil {
 		return err
 	}
@@ -334,18 +334,18 @@
 		says.Close()
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if !p.over && p.daemon == x {
-			p.broken <- fmt.Errorf("the daemon ended: %w", x.err)
+		if !p.ending && p.daemon == x {
+			p.failures <- fmt.Errorf("the daemon ended: %w", x.err)
 		}
 	}()
 	if old != nil {
-		p.say("process %d took over from process %d", x.Process.Pid, old.Process.Pid)
+		p.logEvent("process %d took over from process %d", x.Process.Pid, old.Process.Pid)
 	}
 	return nil
 }
 
 // client starts a client process and gathers what it tells.
-func (p *play) client(name string, o client.Options) error {
+func (p *playground) startClient(name string, o client.Options) error {
 	text, err := json.Marshal(o)
 	if err != nil {
 		return err
@@ -367,14 +367,14 @@
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			var r client.Result
-			if json.Unmarshal(lines.Bytes(), &r) != nil || int(r.Verdict) >= len(f.by) {
+			if json.Unmarshal(lines.Bytes(), &r) != nil || int(r.Verdict) >= len(f.byVerdict) {
 				continue
 			}
 			p.mu.Lock()
-			f.by[r.Verdict]++
-			f.all[r.Verdict]++
+			f.byVerdict[r.Verdict]++
+			f.totals[r.Verdict]++
 			if r.Verdict == client.Served {
-				f.took = append(f.took, r.Latency)
+				f.latencies = append(f.latencies, r.Latency)
 			}
 			p.mu.Unlock()
 		}
@@ -400,41 +400,41 @@
 }
 
 // say notes what has happened.
-func (p *play) say(format string, args ...any) {
+func (p *playground) logEvent(format string, args ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.events = append(p.events, fmt.Sprintf("%4.0f s  %s", time.Since(p.began).Seconds(), fmt.Sprintf(format, args...)))
+	p.events = append(p.events, fmt.Sprintf("%4.0f s  %s", time.Since(p.startedAt).Seconds(), fmt.Sprintf(format, args...)))
 	if over := len(p.events) - 6; over > 0 {
 		p.events = p.events[over:]
 	}
 }
 
 // trouble has something go wrong, in turn.
-func (p *play) trouble(second int) {
+func (p *playground) injectFault(second int) {
 	last := p.endpoints[len(p.endpoints)-1]
 	switch second % 40 {
 	case 8:
-		p.say("a new daemon process is started, as for an upgrade")
+		p.logEvent("a new daemon process is started, as for an upgrade")
 		go func() {
-			if err := p.serve(context.Background()); err != nil {
-				p.say("%v", err)
+			if err := p.startDaemon(context.Background()); err != nil {
+				p.logEvent("%v", err)
 			}
 		}()
 	case 15:
-		p.say("%s begins to drain", last.entry.ID)
+		p.logEvent("%s begins to drain", last.entry.ID)
 		last.entry.Lifecycle = "draining"
-		p.roster.Set(last.entry)
+		p.discovery.Set(last.entry)
 	case 18:
-		p.say("%s is gone; one in its place starts cold", last.entry.ID)
+		p.logEvent("%s is gone; one in its place starts cold", last.entry.ID)
 		last.entry.Lifecycle = "removed"
-		p.roster.Set(last.entry)
+		p.discovery.Set(last.entry)
 		last.Close()
-		if n, err := p.node(len(p.endpoints) - 1); err == nil {
+		if n, err := p.startEndpoint(len(p.endpoints) - 1); err == nil {
 			p.endpoints[len(p.endpoints)-1] = n
-			p.roster.Set(n.entry)
+			p.discovery.Set(n.entry)
 		}
 	case 28:
-		p.say("%s fails every booking", p.endpoints[0].entry.ID)
+		p.logEvent("%s fails every booking", p.endpoints[0].entry.ID)
 		p.endpoints[0].SetFaults(func(r *http.Request) endpoint.Fault {
 			if strings.HasPrefix(r.URL.Path, "/book") {
 				return endpoint.InternalError
@@ -442,24 +442,24 @@
 			return endpoint.NoFault
 		})
 	case 22:
-		p.say("the files' endpoints fail; the agenda's are served as before")
-		for _, n := range p.files {
+		p.logEvent("the files' endpoints fail; the agenda's are served as before")
+		for _, n := range p.fileEndpoints {
 			n.SetFaults(func(*http.Request) endpoint.Fault { return endpoint.InternalError })
 		}
 	case 26:
-		p.say("the files' endpoints are well again")
-		for _, n := range p.files {
+		p.logEvent("the files' endpoints are well again")
+		for _, n := range p.fileEndpoints {
 			n.SetFaults(nil)
 		}
 	case 35:
-		p.say("%s is well again", p.endpoints[0].entry.ID)
-		p.endpoints[0].SetFaults(taken)
+		p.logEvent("%s is well again", p.endpoints[0].entry.ID)
+		p.endpoints[0].SetFaults(slotTaken)
 	}
 }
 
 // taken has one booking in sixteen answered 409: the slot is taken. That is the application's own word, and arrives as
 // it is.
-func taken(r *http.Request) endpoint.Fault {
+func slotTaken(r *http.Request) endpoint.Fault {
 	if key := r.Header.Get("Idempotency-Key"); key != "" && key[0] == '7' {
 		return endpoint.Conflict
 	}
@@ -467,54 +467,54 @@
 }
 
 // screen prints the second's figures.
-func (p *play) screen(second int) {
+func (p *playground) printScreen(second int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var b strings.Builder
-	if p.o.Clear {
+	if p.options.Clear {
 		b.WriteString("\x1b[H\x1b[2J")
 	}
 	fmt.Fprintf(&b, "dunlinsaild playground, %d s. Daemon: process %d, its log in %s. Ctrl-C ends all.\n\n", second,
 		p.daemon.Process.Pid, filepath.Join(p.dir, "daemon.log"))
 	fmt.Fprintf(&b, "%-10s %9s %9s %9s %9s %9s %9s %9s\n", "client", "served/s", "409/s", "refused/s", "failed/s", "lost/s", "p50 ms", "p99 ms")
 	var total figures
-	for _, c := range cast {
+	for _, c := range clientSpecs {
 		f := p.figures[c.name]
-		f.line(&b, c.name)
-		for i := range f.by {
-			total.by[i] += f.by[i]
+		f.printLine(&b, c.name)
+		for i := range f.byVerdict {
+			total.byVerdict[i] += f.byVerdict[i]
 		}
-		total.took = append(total.took, f.took...)
-		f.by, f.took = [client.VerdictCount]int{}, nil
+		total.latencies = append(total.latencies, f.latencies...)
+		f.byVerdict, f.latencies = [client.VerdictCount]int{}, nil
 	}
-	total.line(&b, "all")
+	total.printLine(&b, "all")
 	fmt.Fprintf(&b, "\n%-24s %-10s %-9s %9s %9s %9s\n", "endpoint", "zone", "state", "served/s", "working", "waiting")
-	for _, n := range slices.Concat(p.endpoints, p.files) {
+	for _, n := range slices.Concat(p.endpoints, p.fileEndpoints) {
 		working, waiting := n.Load()
 		served := n.ServedCount()
-		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n", n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.served, working, waiting)
-		n.served = served
+		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n", n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.lastServed, working, waiting)
+		n.lastServed = served
 	}
 	b.WriteString("\n" + strings.Join(p.events, "\n") + "\n")
-	_, _ = io.WriteString(p.o.Out, b.String()) // for people; the playground goes on without them
+	_, _ = io.WriteString(p.options.Out, b.String()) // for people; the playground goes on without them
 }
 
-func (f *figures) line(w io.Writer, name string) {
-	slices.Sort(f.took)
+func (f *figures) printLine(w io.Writer, name string) {
+	slices.Sort(f.latencies)
 	quantile := func(q float64) float64 {
-		if len(f.took) == 0 {
+		if len(f.latencies) == 0 {
 			return 0
 		}
-		return f.took[min(len(f.took)-1, int(q*float64(len(f.took))))].Seconds() * 1000
+		return f.latencies[min(len(f.latencies)-1, int(q*float64(len(f.latencies))))].Seconds() * 1000
 	}
-	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name, f.by[client.Served], f.by[client.ClientError], f.by[client.Rejected], f.by[client.Failed],
-		f.by[client.ConnectionLost]+f.by[client.TimedOut]+f.by[client.WrongResponse], quantile(0.5), quantile(0.99))
+	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name, f.byVerdict[client.Served], f.byVerdict[client.ClientError], f.byVerdict[client.Rejected], f.byVerdict[client.Failed],
+		f.byVerdict[client.ConnectionLost]+f.byVerdict[client.TimedOut]+f.byVerdict[client.WrongResponse], quantile(0.5), quantile(0.99))
 }
 
 // end ends all that was started.
-func (p *play) end() {
+func (p *playground) stop() {
 	p.mu.Lock()
-	p.over = true
+	p.ending = true
 	programs := p.programs
 	p.mu.Unlock()
 	for _, x := range programs {
@@ -529,10 +529,10 @@
 			<-x.done
 		}
 	}
-	if p.roster != nil {
-		p.roster.Close()
+	if p.discovery != nil {
+		p.discovery.Close()
 	}
-	for _, n := range slices.Concat(p.endpoints, p.files) {
+	for _, n := range slices.Concat(p.endpoints, p.fileEndpoints) {
 		n.Close()
 	}
 }
