Comment the playground in ordinary terms, one step a line

Its comments told of stand-ins, a roster and a cast; they describe fake endpoints, discovery and client processes now. What runs and what the screen shows stay as they are. go test -race -run TestPlayground ./cmd/dunlinsaild passed.

--- a/internal/playground/faults.go
+++ b/internal/playground/faults.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/fake/endpoint"
 )
 
-// say notes what has happened.
+// logEvent adds a line to the screen's events.
 func (p *playground) logEvent(format string, args ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -20,7 +20,7 @@
 	}
 }
 
-// trouble has something go wrong, in turn.
+// injectFault injects the fault of a second; they repeat every 40 seconds.
 func (p *playground) injectFault(second int) {
 	last := p.endpoints[len(p.endpoints)-1]
 	switch second % 40 {
@@ -68,8 +68,7 @@
 	}
 }
 
-// taken has one booking in sixteen answered 409: the slot is taken. That is the application's own word, and arrives as
-// it is.
+// slotTaken answers one booking in sixteen with 409, as an application whose slot is taken: clients receive it unchanged.
 func slotTaken(r *http.Request) endpoint.Fault {
 	if key := r.Header.Get("Idempotency-Key"); key != "" && key[0] == '7' {
 		return endpoint.Conflict
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -1,6 +1,6 @@
-// Package playground shows a daemon at work on one machine: stand-in endpoints and a stand-in roster in this process,
-// the daemon and a few client processes as processes of their own, one screen of figures a second, and now and then
-// something that goes wrong. It knows the daemon by its command line and its file only.
+// Package playground demonstrates a daemon on one machine: fake endpoints and a fake discovery service in this process,
+// the daemon and some clients as child processes, one screen of figures a second, and a fault now and then. It uses the
+// daemon by its command line and its configuration file only.
 package playground
 
 import (
@@ -21,16 +21,16 @@
 	"dunlinsail/internal/fake/endpoint"
 )
 
-// Options say what to show.
+// Options configure a demonstration.
 type Options struct {
-	Program string        // dunlinsaild
-	Out     io.Writer     // the screen
-	Clear   bool          // it is a terminal: each screen replaces the one before
-	For     time.Duration // 0 is until told to end
-	Quiet   bool          // nothing goes wrong by itself
+	Program string        // path of dunlinsaild
+	Out     io.Writer     // receives the screens
+	Clear   bool          // Out is a terminal: each screen replaces the previous one
+	For     time.Duration // 0 is until the context ends
+	Quiet   bool          // no faults are injected
 }
 
-// Run plays until its time is over or stop ends, and ends all that it started.
+// Run runs the demonstration until its time is over or stop ends, and stops all that it started.
 func Run(stop context.Context, o Options) (err error) {
 	if o.For > 0 {
 		var cancel context.CancelFunc
@@ -64,7 +64,7 @@
 	}
 }
 
-// play is what runs.
+// playground is a running demonstration.
 type playground struct {
 	options    Options
 	dir        string
@@ -75,7 +75,7 @@
 	discovery     *discoveryserver.Server
 	ledger        *endpoint.Ledger
 	endpoints     []*listedEndpoint
-	fileEndpoints []*listedEndpoint // the pool that is listed in the file
+	fileEndpoints []*listedEndpoint // the pool that the configuration file lists
 	daemon        *program
 	programs      []*program
 	ending        bool
@@ -85,21 +85,21 @@
 	events  []string
 }
 
-// node is a stand-in endpoint and its entry in the roster.
+// listedEndpoint is a fake endpoint and its entry in discovery.
 type listedEndpoint struct {
 	*endpoint.Server
 	entry      discovery.Instance
-	lastServed int // when last looked
+	lastServed int // ServedCount at the previous screen
 }
 
-// figures are a client's of the present second, and of all.
+// figures count a client's requests: of the present second, and totals.
 type figures struct {
 	byVerdict [client.VerdictCount]int
 	latencies []time.Duration
 	totals    [client.VerdictCount]int
 }
 
-// cast are the client processes: the last asks for far more than its share, now and then.
+// clientSpecs are the client processes; the last one's rate is far beyond its quota.
 var clientSpecs = []struct {
 	name, network string
 	rate          float64
@@ -129,7 +129,9 @@
 		if err != nil {
 			return err
 		}
-		n.entry.ID, n.entry.Zone, n.entry.Lifecycle = "files "+n.Addr, "-", "listed"
+		n.entry.ID = "files " + n.Addr
+		n.entry.Zone = "-"
+		n.entry.Lifecycle = "listed"
 		p.fileEndpoints = append(p.fileEndpoints, n)
 	}
 	var err error
@@ -165,13 +167,14 @@
 	return nil
 }
 
-// node starts an endpoint.
+// startEndpoint starts endpoint i.
 func (p *playground) startEndpoint(i int) (*listedEndpoint, error) {
 	zones := []string{"heredia", "san-jose", "cartago"}
 	o := endpoint.Options{Name: fmt.Sprint("s-", i), ServiceTime: map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
 		Spread: 0.3, Cores: endpointCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger}
-	if time.Since(p.startedAt) > time.Second { // one that starts while all run is cold
-		o.WarmupStartSpeed, o.WarmupTime = 0.2, 10*time.Second
+	if time.Since(p.startedAt) > time.Second { // one that starts later warms up
+		o.WarmupStartSpeed = 0.2
+		o.WarmupTime = 10 * time.Second
 	}
 	s, err := endpoint.Start(o)
 	if err != nil {
@@ -186,7 +189,7 @@
 	return &listedEndpoint{Server: s, entry: e}, nil
 }
 
-// end ends all that was started.
+// stop stops all that was started.
 func (p *playground) stop() {
 	p.mu.Lock()
 	p.ending = true
--- a/internal/playground/process.go
+++ b/internal/playground/process.go
@@ -16,18 +16,19 @@
 	"dunlinsail/internal/fake/client"
 )
 
-// program is a process that is ended with all others.
+// program is a child process.
 type program struct {
 	*exec.Cmd
-	done chan struct{} // closed once it has ended
-	err  error         // its end; to be read after done
+	done chan struct{} // closed when it has exited
+	err  error         // its exit error; valid after done
 }
 
-// spawn starts a program. What it prints goes to out, if that is not nil, and its log to a file.
+// spawn starts a program. Its standard output goes to out, unless that is nil, and its log to a file.
 func (p *playground) spawn(in io.Reader, out io.Writer, log string, args ...string) (*program, error) {
 	cmd := exec.Command(p.options.Program, args...)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C is ours to pass on
-	cmd.Stdin, cmd.Stdout = in, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C reaches only this process
+	cmd.Stdin = in
+	cmd.Stdout = out
 	file, err := os.OpenFile(filepath.Join(p.dir, log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -48,22 +49,22 @@
 	return x, nil
 }
 
-// serve starts a daemon, which takes over from the one that serves, if any, and waits until it serves.
+// startDaemon starts a daemon, which takes over from a running one, and waits until it serves.
 func (p *playground) startDaemon(stop context.Context) error {
-	serving, says := io.Pipe()
-	x, err := p.spawn(nil, says, "daemon.log", "--config", p.configPath(), "--announce")
+	output, outputWriter := io.Pipe()
+	x, err := p.spawn(nil, outputWriter, "daemon.log", "--config", p.configPath(), "--announce")
 	if err != nil {
 		return err
 	}
-	word := make(chan struct{})
+	announced := make(chan struct{})
 	go func() {
-		if bufio.NewScanner(serving).Scan() {
-			close(word)
+		if bufio.NewScanner(output).Scan() {
+			close(announced)
 		}
-		_, _ = io.Copy(io.Discard, serving) // until the daemon ends
+		_, _ = io.Copy(io.Discard, output) // until the daemon ends
 	}()
 	select {
-	case <-word:
+	case <-announced:
 	case <-x.done:
 		text, _ := os.ReadFile(filepath.Join(p.dir, "daemon.log"))
 		return fmt.Errorf("the daemon ended: %w\n%s", x.err, text)
@@ -76,7 +77,7 @@
 	p.mu.Unlock()
 	go func() {
 		<-x.done
-		says.Close()
+		outputWriter.Close()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if !p.ending && p.daemon == x {
@@ -89,20 +90,20 @@
 	return nil
 }
 
-// client starts a client process and gathers what it tells.
+// startClient starts a client process and collects its results.
 func (p *playground) startClient(name string, o client.Options) error {
 	text, err := json.Marshal(o)
 	if err != nil {
 		return err
 	}
-	out, tells := io.Pipe()
-	x, err := p.spawn(strings.NewReader(string(text)), tells, "clients.log", "playground-client")
+	out, outWriter := io.Pipe()
+	x, err := p.spawn(strings.NewReader(string(text)), outWriter, "clients.log", "playground-client")
 	if err != nil {
 		return err
 	}
 	go func() {
 		<-x.done
-		tells.Close()
+		outWriter.Close()
 	}()
 	f := &figures{}
 	p.mu.Lock()
@@ -127,7 +128,7 @@
 	return nil
 }
 
-// Client is a client process: its options come from in, and a line goes out for each request's end.
+// Client runs a client process: it reads its options as JSON from in, and writes a line of JSON for each result to out.
 func Client(stop context.Context, in io.Reader, out io.Writer) error {
 	var o client.Options
 	if err := json.NewDecoder(in).Decode(&o); err != nil {
@@ -138,7 +139,7 @@
 	o.OnDone = func(r client.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		_ = lines.Encode(r) // whoever reads has gone: the playground ends
+		_ = lines.Encode(r) // an error means that the playground has ended
 	}
 	client.New(o).Run(stop)
 	return nil
--- a/internal/playground/screen.go
+++ b/internal/playground/screen.go
@@ -10,7 +10,7 @@
 	"dunlinsail/internal/fake/client"
 )
 
-// screen prints the second's figures.
+// printScreen prints the figures of a second.
 func (p *playground) printScreen(second int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -29,7 +29,8 @@
 			total.byVerdict[i] += f.byVerdict[i]
 		}
 		total.latencies = append(total.latencies, f.latencies...)
-		f.byVerdict, f.latencies = [client.VerdictCount]int{}, nil
+		f.byVerdict = [client.VerdictCount]int{}
+		f.latencies = nil
 	}
 	total.printLine(&b, "all")
 	fmt.Fprintf(&b, "\n%-24s %-10s %-9s %9s %9s %9s\n", "endpoint", "zone", "state", "served/s", "working", "waiting")
@@ -40,7 +41,7 @@
 		n.lastServed = served
 	}
 	b.WriteString("\n" + strings.Join(p.events, "\n") + "\n")
-	_, _ = io.WriteString(p.options.Out, b.String()) // for people; the playground goes on without them
+	_, _ = io.WriteString(p.options.Out, b.String()) // a demonstration without a reader goes on
 }
 
 func (f *figures) printLine(w io.Writer, name string) {
