--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -38,31 +38,50 @@
 
 // What contradicts itself or makes no sense is told with its key and line, and all of it at once.
 func TestContradictions(t *testing.T) {
-	for text, want := range map[string]string{
-		"load = 0.5\n": "line 13: clients.load: one of load and rate must be given, and positive",
-		"retries = [3, 1]\n[[event]]\nwhat = \"slow\"\nat = \"5s\"\n":                      "line 13: clients.retries: [3 1]: must be two numbers in order, 0..20",
-		"[[event]]\nwhat = \"slow\"\nat = \"5s\"\n":                                        "line 13: event.0.size: \"slow\" takes a size: times as slow",
-		"[[event]]\nwhat = \"slow\"\nat = \"50s\"\nsize = [2.0]\n":                         "line 15: event.0.at: it is after the end, 30s",
-		"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [3.0, 2.0]\n":                     "line 16: event.0.size: its second number is under its first",
-		"[[event]]\nwhat = \"slow\"\nat = \"5s..4s\"\nsize = [3.0]\n":                      "line 15: event.at: \"5s..4s\" ends before it begins",
-		"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [2.0]\npart = [0.5]\ncount = 2\n": "line 18: event.0.count: either a part or a count",
-		"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [2.0]\nzone = \"z\"\n":            "line 17: event.0.zone: \"z\" is none of fleet.zones",
-		"[[event]]\nwhat = \"cut\"\nat = \"5s\"\nzone = \"x\"\nto = \"x\"\n":               "line 17: event.0.to: a zone cannot be cut off from itself",
-		"[[event]]\nwhat = \"surge\"\nat = \"5s\"\nsize = [2.0]\nclass = \"book\"\n":       "line 17: event.0.class: \"book\" is none of the classes",
-		"[[event]]\nwhat = \"restart\"\nat = \"5s\"\nkind = \"n\"\n":                       "line 16: event.0.kind: \"restart\" does not happen to endpoints",
-		"[[event]]\nwhat = \"rolling\"\nat = \"5s\"\n":                                     "line 13: event.0.every: is missing: the time from one to the next",
-		"[[event]]\nwhat = \"earthquake\"\nat = \"5s\"\n":                                  "line 14: event.0.what: \"earthquake\" is none of",
-		"[[shape]]\nat = \"5s\"\ntimes = 1.0\n[[shape]]\nat = \"5s\"\ntimes = 2.0\n":       "line 17: shape.1.at: 5s does not come after the one before",
-		"[[nodes]]\nkind = \"n\"\ncount = 1\n":                                             "line 14: nodes.1.kind: \"n\" is empty or named twice",
-		"[[nodes]]\nkind = \"m\"\ncount = 1\nfall = 2.5\n":                                 "line 13: nodes.1.fall_after: is missing",
-		"[[nodes]]\nkind = \"m\"\ncount = 1\npause_for = \"2s\"\npause_every = \"1s\"\n":   "line 17: nodes.1.pause_every: 1s is not over pause_for, 2s",
-		"rats = 1\n":        "line 13: clients.rats: is not a known key",
-		"base = \"calm\"\n": "line 13: clients.base: is not a known key",
+	for _, c := range []struct{ text, want string }{
+		{"load = 0.5\n",
+			"line 13: clients.load: one of load and rate must be given, and positive"},
+		{"retries = [3, 1]\n[[event]]\nwhat = \"slow\"\nat = \"5s\"\n",
+			"line 13: clients.retries: [3 1]: must be two numbers in order, 0..20"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"5s\"\n",
+			"line 13: event.0.size: \"slow\" takes a size: times as slow"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"50s\"\nsize = [2.0]\n",
+			"line 15: event.0.at: it is after the end, 30s"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [3.0, 2.0]\n",
+			"line 16: event.0.size: its second number is under its first"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"5s..4s\"\nsize = [3.0]\n",
+			"line 15: event.at: \"5s..4s\" ends before it begins"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [2.0]\npart = [0.5]\ncount = 2\n",
+			"line 18: event.0.count: either a part or a count"},
+		{"[[event]]\nwhat = \"slow\"\nat = \"5s\"\nsize = [2.0]\nzone = \"z\"\n",
+			"line 17: event.0.zone: \"z\" is none of fleet.zones"},
+		{"[[event]]\nwhat = \"cut\"\nat = \"5s\"\nzone = \"x\"\nto = \"x\"\n",
+			"line 17: event.0.to: a zone cannot be cut off from itself"},
+		{"[[event]]\nwhat = \"surge\"\nat = \"5s\"\nsize = [2.0]\nclass = \"book\"\n",
+			"line 17: event.0.class: \"book\" is none of the classes"},
+		{"[[event]]\nwhat = \"restart\"\nat = \"5s\"\nkind = \"n\"\n",
+			"line 16: event.0.kind: \"restart\" does not happen to endpoints"},
+		{"[[event]]\nwhat = \"rolling\"\nat = \"5s\"\n",
+			"line 13: event.0.every: is missing: the time from one to the next"},
+		{"[[event]]\nwhat = \"earthquake\"\nat = \"5s\"\n",
+			"line 14: event.0.what: \"earthquake\" is none of"},
+		{"[[shape]]\nat = \"5s\"\ntimes = 1.0\n[[shape]]\nat = \"5s\"\ntimes = 2.0\n",
+			"line 17: shape.1.at: 5s does not come after the one before"},
+		{"[[nodes]]\nkind = \"n\"\ncount = 1\n",
+			"line 14: nodes.1.kind: \"n\" is empty or named twice"},
+		{"[[nodes]]\nkind = \"m\"\ncount = 1\nfall = 2.5\n",
+			"line 13: nodes.1.fall_after: is missing"},
+		{"[[nodes]]\nkind = \"m\"\ncount = 1\npause_for = \"2s\"\npause_every = \"1s\"\n",
+			"line 17: nodes.1.pause_every: 1s is not over pause_for, 2s"},
+		{"rats = 1\n",
+			"line 13: clients.rats: is not a known key"},
+		{"base = \"calm\"\n",
+			"line 13: clients.base: is not a known key"},
 	} {
-		_, err := Parse([]byte(least+text), none)
+		_, err := Parse([]byte(least+c.text), none)
 		var all stricttoml.Errors
-		if !errors.As(err, &all) || !strings.HasPrefix(all[0].Error(), want) {
-			t.Errorf("%q:\n got %v\nwant %s", text, err, want)
+		if !errors.As(err, &all) || !strings.HasPrefix(all[0].Error(), c.want) {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
 		}
 	}
 	if _, err := Parse([]byte("base = \"calm\"\n"+least), none); err == nil ||
@@ -102,6 +121,29 @@
 	}
 }
 
+// drawTraffic counts the operations of a plan by ten seconds and tenant, and returns a digest of them, too.
+func drawTraffic(t *testing.T, s *Scenario, seed uint64) (by [3][2]int, total int, last monotime.Micros) {
+	t.Helper()
+	p := s.Draw(seed)
+	for i := range p.Instances {
+		next := p.Operations(i)
+		for at := monotime.Micros(-1); ; {
+			x, ok := next()
+			if !ok {
+				break
+			}
+			if x.StartedAt < at {
+				t.Fatal("stories out of order")
+			}
+			at = x.StartedAt
+			by[x.StartedAt/(10*second)][x.Tenant]++
+			total++
+			last += x.StartedAt ^ x.Work ^ int64(x.IdempotencyKey)
+		}
+	}
+	return by, total, last
+}
+
 // A plan follows from its seed; its traffic has the rate, the shape and the shares that the file says.
 func TestDraw(t *testing.T) {
 	s := parse(t, strings.Replace(least, "rate = 200.0", "rate = 2000.0", 1)+`[[tenant]]
@@ -123,31 +165,11 @@
 tenant = "q"
 size = [5.0]
 `)
-	count := func(seed uint64) (by [3][2]int, total int, last monotime.Micros) {
-		p := s.Draw(seed)
-		for i := range p.Instances {
-			next := p.Operations(i)
-			for at := monotime.Micros(-1); ; {
-				x, ok := next()
-				if !ok {
-					break
-				}
-				if x.StartedAt < at {
-					t.Fatal("stories out of order")
-				}
-				at = x.StartedAt
-				by[x.StartedAt/(10*second)][x.Tenant]++
-				total++
-				last += x.StartedAt ^ x.Work ^ int64(x.IdempotencyKey)
-			}
-		}
-		return by, total, last
-	}
-	by, total, digest := count(1)
-	if _, _, again := count(1); again != digest {
+	by, total, digest := drawTraffic(t, s, 1)
+	if _, _, again := drawTraffic(t, s, 1); again != digest {
 		t.Error("the same seed gave other stories")
 	}
-	if _, _, other := count(2); other == digest {
+	if _, _, other := drawTraffic(t, s, 2); other == digest {
 		t.Error("another seed gave the same stories")
 	}
 	// Mean shapes of the three parts: 2/3, 1, 4/3. Tenant q asks for five times as much in the middle one.
