--- a/internal/accesslog/row.go
+++ b/internal/accesslog/row.go
@@ -1,11 +1,10 @@
-// Package accesslog keeps an access record: what clients asked an instance for, when, and what became of it, to be
-// looked at and to be played again in the fleet's model. It holds no patient's data: a path is told by the name of
-// its route, and keys and objects as keyed hashes, by a secret that the operators hold. It knows rows, and nothing of
-// HTTP or of decisions.
+// Package accesslog writes and reads access records: the requests that an instance received, when, and their outcomes,
+// for inspection and for replay in the simulation of the fleet. They hold no patient data: a path is given as the name
+// of its route, and keys and objects as keyed hashes with a secret of the operators. The package must not import HTTP or
+// decisions.
 //
-// A record is a folder of segments. Each is a file of its own in Apache Parquet, whole or not there: it is written
-// beside its name, synced, and then named. What a process holds that dies is lost, and the numbers of the rows show
-// that.
+// A record is a directory of segments, each an Apache Parquet file that is complete or absent: it is written under a
+// temporary name, synced and renamed. Rows in the memory of a process that dies are lost; gaps in their numbers show it.
 package accesslog
 
 import (
@@ -18,10 +17,10 @@
 	"strings"
 )
 
-// Version is that of the rows' meaning.
+// Version is the version of the meaning of rows.
 const Version = 1
 
-// Verdicts, as rows tell them.
+// Verdicts of requests, as stored in Row.Verdict.
 const (
 	Served    = "served"
 	Rejected  = "refused"
@@ -32,11 +31,11 @@
 
 // Row is one request of a client.
 type Row struct {
-	Seq           int64  `parquet:"seq,delta"`        // counts up in one run of an instance: what is missing was lost or not sampled
-	Arrived       int64  `parquet:"arrived_us,delta"` // Unix microseconds, by a clock that does not step while the instance runs
-	Duration      int64  `parquet:"took_us"`          // until its answer was given, or its client left
-	QueueTime     int64  `parquet:"waited_us"`        // of this, for its turn
-	ClientTimeout int64  `parquet:"patience_us"`      // how long its client waits
+	Seq           int64  `parquet:"seq,delta"`        // counts up in one run; gaps were lost or not sampled
+	Arrived       int64  `parquet:"arrived_us,delta"` // Unix µs, by a clock that does not step during a run
+	Duration      int64  `parquet:"took_us"`          // µs until its response was sent, or its client left
+	QueueTime     int64  `parquet:"waited_us"`        // µs of this in queues
+	ClientTimeout int64  `parquet:"patience_us"`      // µs for which its client waits
 	Client        string `parquet:"client,dict"`      // as the instance knows it
 	Route         string `parquet:"route,dict"`       // "" without routes
 	Class         string `parquet:"class,dict"`
@@ -88,7 +87,7 @@
 	return max(1, binary.BigEndian.Uint64(m.Sum(nil)))
 }
 
-// Sampled says whether a request belongs to a sample of a part: by its key or, without one, its object, so that all
+// Sampled reports whether a request belongs to a sample of a part: by its key or, without one, its object, so that all
 // tries for one thing are in it or none is; by its number where it has neither.
 func Sampled(r *Row, part float64) bool {
 	if part >= 1 {
