Wrap the playground's long lines; its route is a named format

One field a line in its options, a named format for the routes of its configuration. go test -race -run TestPlayground ./cmd/dunlinsaild passed.

--- a/internal/playground/config.go
+++ b/internal/playground/config.go
@@ -9,18 +9,24 @@
 
 func (p *playground) configPath() string { return filepath.Join(p.dir, "playground.toml") }
 
+// routeFormat is a route of the configuration; its arguments are the path's first segment, the pool and the class.
+const routeFormat = "[[route]]\npath = \"/%s/*\"\npool = %q\nclass = %q\ntenant = \"header:X-Customer\"\n" +
+	"key = \"header:Idempotency-Key\"\nid = \"header:X-Trace-Id\"\ndeadline = \"header:X-Expires-In-Ms\"\n"
+
+// config returns the daemon's configuration.
 func (p *playground) config() string {
 	var files, routes []string
 	for _, n := range p.fileEndpoints {
 		files = append(files, strconv.Quote(n.Addr))
 	}
-	for _, r := range [][2]string{{"open-slots", "agenda"}, {"chair-status", "agenda"}, {"book", "agenda"}, {"files", "files"}} {
+	for _, r := range [][2]string{
+		{"open-slots", "agenda"}, {"chair-status", "agenda"}, {"book", "agenda"}, {"files", "files"},
+	} {
 		class := r[0]
 		if r[1] == "files" {
 			class = "chair-status"
 		}
-		routes = append(routes, fmt.Sprintf("[[route]]\npath = \"/%s/*\"\npool = %q\nclass = %q\ntenant = \"header:X-Customer\"\n"+
-			"key = \"header:Idempotency-Key\"\nid = \"header:X-Trace-Id\"\ndeadline = \"header:X-Expires-In-Ms\"\n", r[0], r[1], class))
+		routes = append(routes, fmt.Sprintf(routeFormat, r[0], r[1], class))
 	}
 	return `name = "playground"
 [[pool]]
--- a/internal/playground/faults.go
+++ b/internal/playground/faults.go
@@ -14,7 +14,8 @@
 func (p *playground) logEvent(format string, args ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.events = append(p.events, fmt.Sprintf("%4.0f s  %s", time.Since(p.startedAt).Seconds(), fmt.Sprintf(format, args...)))
+	text := fmt.Sprintf(format, args...)
+	p.events = append(p.events, fmt.Sprintf("%4.0f s  %s", time.Since(p.startedAt).Seconds(), text))
 	if over := len(p.events) - 6; over > 0 {
 		p.events = p.events[over:]
 	}
@@ -68,7 +69,8 @@
 	}
 }
 
-// slotTaken answers one booking in sixteen with 409, as an application whose slot is taken: clients receive it unchanged.
+// slotTaken answers one booking in sixteen with 409, as an application whose slot is taken: clients
+// receive it unchanged.
 func slotTaken(r *http.Request) endpoint.Fault {
 	if key := r.Header.Get("Idempotency-Key"); key != "" && key[0] == '7' {
 		return endpoint.Conflict
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -103,7 +103,13 @@
 var clientSpecs = []struct {
 	name, network string
 	rate          float64
-}{{"desk-1", "tcp", 60}, {"desk-2", "tcp", 40}, {"phone-1", "unix", 30}, {"phone-2", "unix", 30}, {"report", "unix", 500}}
+}{
+	{"desk-1", "tcp", 60},
+	{"desk-2", "tcp", 40},
+	{"phone-1", "unix", 30},
+	{"phone-2", "unix", 30},
+	{"report", "unix", 500},
+}
 
 const (
 	poolEndpoints     = 6
@@ -151,12 +157,25 @@
 		return err
 	}
 	for i, c := range clientSpecs {
-		o := client.Options{Name: c.name, Network: c.network, Addr: p.listenAddr, Tenant: "acme", Rate: c.rate, Duration: 1e6 * time.Hour,
-			MaxOpen: 500, Seed: uint64(i), Classes: []client.Class{
+		o := client.Options{
+			Name:     c.name,
+			Network:  c.network,
+			Addr:     p.listenAddr,
+			Tenant:   "acme",
+			Rate:     c.rate,
+			Duration: 1e6 * time.Hour,
+			MaxOpen:  500,
+			Seed:     uint64(i),
+			Classes: []client.Class{
 				{Name: "open-slots", Share: 0.5, Method: "GET", Timeout: 500 * time.Millisecond},
 				{Name: "chair-status", Share: 0.25, Method: "GET", Timeout: 500 * time.Millisecond},
 				{Name: "files", Share: 0.05, Method: "GET", Timeout: 500 * time.Millisecond},
-				{Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 300, Timeout: 600 * time.Millisecond}}}
+				{
+					Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 300,
+					Timeout: 600 * time.Millisecond,
+				},
+			},
+		}
 		if c.network == "unix" {
 			o.Addr = filepath.Join(p.dir, "clients.sock")
 		}
@@ -170,8 +189,11 @@
 // startEndpoint starts endpoint i.
 func (p *playground) startEndpoint(i int) (*listedEndpoint, error) {
 	zones := []string{"heredia", "san-jose", "cartago"}
-	o := endpoint.Options{Name: fmt.Sprint("s-", i), ServiceTime: map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
-		Spread: 0.3, Cores: endpointCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger}
+	o := endpoint.Options{
+		Name:        fmt.Sprint("s-", i),
+		ServiceTime: map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
+		Spread:      0.3, Cores: endpointCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger,
+	}
 	if time.Since(p.startedAt) > time.Second { // one that starts later warms up
 		o.WarmupStartSpeed = 0.2
 		o.WarmupTime = 10 * time.Second
@@ -181,8 +203,15 @@
 		return nil, err
 	}
 	s.SetFaults(slotTaken)
-	e := discovery.Instance{ID: fmt.Sprintf("s-%d@%s", i, s.Addr), Address: s.Addr, Zone: zones[i%3], Kind: "std-2c", Cell: uint16(i / 3),
-		Lifecycle: "up", Weight: 1}
+	e := discovery.Instance{
+		ID:        fmt.Sprintf("s-%d@%s", i, s.Addr),
+		Address:   s.Addr,
+		Zone:      zones[i%3],
+		Kind:      "std-2c",
+		Cell:      uint16(i / 3),
+		Lifecycle: "up",
+		Weight:    1,
+	}
 	if o.WarmupTime > 0 {
 		e.StartedMs = time.Now().UnixMilli()
 	}
--- a/internal/playground/process.go
+++ b/internal/playground/process.go
@@ -26,7 +26,8 @@
 // spawn starts a program. Its standard output goes to out, unless that is nil, and its log to a file.
 func (p *playground) spawn(in io.Reader, out io.Writer, log string, args ...string) (*program, error) {
 	cmd := exec.Command(p.options.Program, args...)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // Ctrl-C reaches only this process
+	// With its own process group, Ctrl-C reaches only this process.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	cmd.Stdin = in
 	cmd.Stdout = out
 	file, err := os.OpenFile(filepath.Join(p.dir, log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -128,7 +129,8 @@
 	return nil
 }
 
-// Client runs a client process: it reads its options as JSON from in, and writes a line of JSON for each result to out.
+// Client runs a client process: it reads its options as JSON from in, and writes a line of JSON for each result to
+// out.
 func Client(stop context.Context, in io.Reader, out io.Writer) error {
 	var o client.Options
 	if err := json.NewDecoder(in).Decode(&o); err != nil {
--- a/internal/playground/screen.go
+++ b/internal/playground/screen.go
@@ -20,7 +20,8 @@
 	}
 	fmt.Fprintf(&b, "dunlinsaild playground, %d s. Daemon: process %d, its log in %s. Ctrl-C ends all.\n\n", second,
 		p.daemon.Process.Pid, filepath.Join(p.dir, "daemon.log"))
-	fmt.Fprintf(&b, "%-10s %9s %9s %9s %9s %9s %9s %9s\n", "client", "served/s", "409/s", "refused/s", "failed/s", "lost/s", "p50 ms", "p99 ms")
+	fmt.Fprintf(&b, "%-10s %9s %9s %9s %9s %9s %9s %9s\n",
+		"client", "served/s", "409/s", "refused/s", "failed/s", "lost/s", "p50 ms", "p99 ms")
 	var total figures
 	for _, c := range clientSpecs {
 		f := p.figures[c.name]
@@ -37,7 +38,8 @@
 	for _, n := range slices.Concat(p.endpoints, p.fileEndpoints) {
 		working, waiting := n.Load()
 		served := n.ServedCount()
-		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n", n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.lastServed, working, waiting)
+		fmt.Fprintf(&b, "%-24s %-10s %-9s %9d %9d %9d\n",
+			n.entry.ID, n.entry.Zone, n.entry.Lifecycle, served-n.lastServed, working, waiting)
 		n.lastServed = served
 	}
 	b.WriteString("\n" + strings.Join(p.events, "\n") + "\n")
@@ -52,6 +54,8 @@
 		}
 		return f.latencies[min(len(f.latencies)-1, int(q*float64(len(f.latencies))))].Seconds() * 1000
 	}
-	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name, f.byVerdict[client.Served], f.byVerdict[client.ClientError], f.byVerdict[client.Rejected], f.byVerdict[client.Failed],
-		f.byVerdict[client.ConnectionLost]+f.byVerdict[client.TimedOut]+f.byVerdict[client.WrongResponse], quantile(0.5), quantile(0.99))
+	lost := f.byVerdict[client.ConnectionLost] + f.byVerdict[client.TimedOut] + f.byVerdict[client.WrongResponse]
+	fmt.Fprintf(w, "%-10s %9d %9d %9d %9d %9d %9.1f %9.1f\n", name,
+		f.byVerdict[client.Served], f.byVerdict[client.ClientError], f.byVerdict[client.Rejected],
+		f.byVerdict[client.Failed], lost, quantile(0.5), quantile(0.99))
 }
