--- a/cmd/dunlinlab/hunts.go
+++ b/cmd/dunlinlab/hunts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 
@@ -62,34 +63,44 @@
 		}
 	}
 	if c.JSON {
-		e := json.NewEncoder(w)
-		for i := range got.Points {
-			p := &got.Points[i]
-			if err := e.Encode(struct {
-				Values []string `json:"Values"`
-				experiment.Summary
-			}{p.Values, p.Summary()}); err != nil {
-				return err
-			}
-		}
-		return nil
+		return writeSweepJSON(w, got)
 	}
 	fmt.Fprintf(w, "%s, %d seeds; differences are from the first line\n", s.Name, c.SeedFlags.Seeds)
+	return c.writeTable(w, got)
+}
+
+// writeSweepJSON writes a line of JSON for each point.
+func writeSweepJSON(w io.Writer, sweep *experiment.Sweep) error {
+	e := json.NewEncoder(w)
+	for i := range sweep.Points {
+		p := &sweep.Points[i]
+		if err := e.Encode(struct {
+			Values []string `json:"Values"`
+			experiment.Summary
+		}{p.Values, p.Summary()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeTable writes a line for each point.
+func (c *sweepCmd) writeTable(w io.Writer, sweep *experiment.Sweep) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	for _, a := range axes {
+	for _, a := range sweep.Axes {
 		fmt.Fprintf(t, "%s\t", a.Key)
 	}
 	for _, name := range c.Figure {
 		fmt.Fprintf(t, "%s\t\t", name)
 	}
 	fmt.Fprintln(t)
-	for i := range got.Points {
-		for _, v := range got.Points[i].Values {
+	for i := range sweep.Points {
+		for _, v := range sweep.Points[i].Values {
 			fmt.Fprintf(t, "%s\t", v)
 		}
 		for _, name := range c.Figure {
 			f, _ := measure.Describe(name)
-			value, d := got.Points[i].Figure(name)
+			value, d := sweep.Points[i].Figure(name)
 			fmt.Fprintf(t, "%s\t", experiment.Number(f, value))
 			if d != nil {
 				fmt.Fprint(t, experiment.Signed(f, d.Difference))
--- a/cmd/dunlinlab/real.go
+++ b/cmd/dunlinlab/real.go
@@ -73,23 +73,7 @@
 			w, "%s: %d of %d figures of %d real runs lie where the model says\n", s.Name, a.AgreeingRows, len(a.Rows),
 			a.Seeds,
 		)
-		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(t, "\tmodel\treal\t")
-		for _, row := range a.Rows {
-			mark := ""
-			if !row.Agrees {
-				mark = "outside"
-			}
-			digits := 4
-			if row.Unit == "ms" {
-				digits = 1
-			}
-			fmt.Fprintf(
-				t, "%s\t%s\t%.*f\t%s\n", row.Name, experiment.Number(row.Figure, row.Model), digits, row.Processes,
-				mark,
-			)
-		}
-		if err := t.Flush(); err != nil {
+		if err := writeAgreement(w, a); err != nil {
 			return err
 		}
 		_ = w.Flush() // its error comes again with the last Flush, in main
@@ -99,3 +83,24 @@
 	}
 	return nil
 }
+
+// writeAgreement writes a line for each figure.
+func writeAgreement(w io.Writer, a *experiment.Agreement) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\tmodel\treal\t")
+	for _, row := range a.Rows {
+		mark := ""
+		if !row.Agrees {
+			mark = "outside"
+		}
+		digits := 4
+		if row.Unit == "ms" {
+			digits = 1
+		}
+		fmt.Fprintf(
+			t, "%s\t%s\t%.*f\t%s\n", row.Name, experiment.Number(row.Figure, row.Model), digits, row.Processes,
+			mark,
+		)
+	}
+	return t.Flush()
+}
