--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -156,6 +156,11 @@
 	if err := p.startDaemon(stop); err != nil {
 		return err
 	}
+	return p.startClients()
+}
+
+// startClients starts the client processes.
+func (p *playground) startClients() error {
 	for i, c := range clientSpecs {
 		o := client.Options{
 			Name:     c.name,
@@ -190,9 +195,13 @@
 func (p *playground) startEndpoint(i int) (*listedEndpoint, error) {
 	zones := []string{"heredia", "san-jose", "cartago"}
 	o := endpoint.Options{
-		Name:        fmt.Sprint("s-", i),
-		ServiceTime: map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
-		Spread:      0.3, Cores: endpointCores, QueueLimit: 50, IdempotencyWindow: 400 * time.Millisecond, Ledger: p.ledger,
+		Name:              fmt.Sprint("s-", i),
+		ServiceTime:       map[string]time.Duration{"": serviceTime, "book": 2 * serviceTime},
+		Spread:            0.3,
+		Cores:             endpointCores,
+		QueueLimit:        50,
+		IdempotencyWindow: 400 * time.Millisecond,
+		Ledger:            p.ledger,
 	}
 	if time.Since(p.startedAt) > time.Second { // one that starts later warms up
 		o.WarmupStartSpeed = 0.2
