Name the object's key of a balancer request for what it is

Need: Request.IdempotencyKey holds the hash of X-Object, which is no idempotency key; the name came from an earlier Key. Change: a type-aware rename to ObjectKey, and its comment.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -36,18 +36,18 @@
 
 // Request is a client's request. It gets one final answer: an outcome that answers it, a rejection or a failure.
 type Request struct {
-	ID             uint64
-	IdempotencyKey uint64          // no decision reads it
-	Deadline       monotime.Micros // the instant at which the client gives up
-	QueueTime      monotime.Micros // time in the host's queue: the latency objective counts from the arrival there
-	WorkHint       monotime.Micros // expected work, if HasWorkHint
-	HasWorkHint    bool
-	Retry          bool // the client marked it as a retry
-	MaxAttempts    int  // within Limits.MaxAttempts; 0 is that many
-	Write          bool // no decision reads it
-	Upload         bool // its body is sent while an endpoint reads it: until the end the endpoint owes no answer
-	Tenant         uint16
-	Class          uint8
+	ID          uint64
+	ObjectKey   uint64          // hash of the object that the request is about, 0 for none; no decision reads it
+	Deadline    monotime.Micros // the instant at which the client gives up
+	QueueTime   monotime.Micros // time in the host's queue: the latency objective counts from the arrival there
+	WorkHint    monotime.Micros // expected work, if HasWorkHint
+	HasWorkHint bool
+	Retry       bool // the client marked it as a retry
+	MaxAttempts int  // within Limits.MaxAttempts; 0 is that many
+	Write       bool // no decision reads it
+	Upload      bool // its body is sent while an endpoint reads it: until the end the endpoint owes no answer
+	Tenant      uint16
+	Class       uint8
 }
 
 // Status says how an attempt or a probe ended.
--- a/balancer/decisions_test.go
+++ b/balancer/decisions_test.go
@@ -298,7 +298,7 @@
 		return
 	}
 	s.nextID++
-	in := balancer.Request{ID: s.nextID, IdempotencyKey: s.random.Uint64(),
+	in := balancer.Request{ID: s.nextID, ObjectKey: s.random.Uint64(),
 		Class:  uint8(s.random.IntN(len(s.settings.Classes))),
 		Tenant: uint16(s.random.IntN(3)), Retry: s.random.IntN(8) == 0, Upload: s.random.IntN(30) == 0}
 	in.Deadline = s.now + s.settings.Classes[in.Class].ClientTimeout
@@ -319,7 +319,7 @@
 		in.Class = 200 // none of the settings
 	}
 	after, rejected := s.balancer.ShouldReject(in)
-	s.note("event request", in.ID, in.IdempotencyKey, in.Deadline, in.QueueTime, in.WorkHint, in.HasWorkHint,
+	s.note("event request", in.ID, in.ObjectKey, in.Deadline, in.QueueTime, in.WorkHint, in.HasWorkHint,
 		in.Retry, in.MaxAttempts, in.Upload,
 		in.Tenant, in.Class, after, rejected, s.balancer.QueueWaitFraction(s.now, in))
 	if !rejected {
--- a/internal/frontend/http1/class_requests.go
+++ b/internal/frontend/http1/class_requests.go
@@ -196,11 +196,11 @@
 		ID:       req.Header.Get("X-Trace-Id"),
 		Response: make(chan engine.Response, 1),
 		Request: balancer.Request{
-			Class:          class,
-			Tenant:         s.tenantIndex(req.Header.Get("X-Customer")),
-			IdempotencyKey: objectKey(req.Header.Get("X-Object")),
-			Retry:          req.Header.Get("X-Second-Try") == "1",
-			Deadline:       timeout - siteconfig.ResponseMargin.Microseconds(),
+			Class:     class,
+			Tenant:    s.tenantIndex(req.Header.Get("X-Customer")),
+			ObjectKey: objectKey(req.Header.Get("X-Object")),
+			Retry:     req.Header.Get("X-Second-Try") == "1",
+			Deadline:  timeout - siteconfig.ResponseMargin.Microseconds(),
 		},
 	}
 	if hint, err := strconv.ParseInt(req.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -159,11 +159,11 @@
 		ID:       id,
 		Response: make(chan engine.Response, 1),
 		Request: balancer.Request{
-			Class:          class,
-			Tenant:         s.tenantIndex(rt.Tenant.value(c, req, path)),
-			IdempotencyKey: objectKey(rt.Object.value(c, req, path)),
-			MaxAttempts:    rt.MaxAttempts,
-			Deadline:       timeout - siteconfig.ResponseMargin.Microseconds(),
+			Class:       class,
+			Tenant:      s.tenantIndex(rt.Tenant.value(c, req, path)),
+			ObjectKey:   objectKey(rt.Object.value(c, req, path)),
+			MaxAttempts: rt.MaxAttempts,
+			Deadline:    timeout - siteconfig.ResponseMargin.Microseconds(),
 		},
 	}
 	return call, out, nil
--- a/internal/simulation/request.go
+++ b/internal/simulation/request.go
@@ -39,12 +39,12 @@
 		ArrivedAt: now,
 		HostData:  t,
 		Request: balancer.Request{
-			Class:          uint8(r.settingsClass[s.Class]),
-			Tenant:         tenant,
-			Retry:          t.Retry,
-			IdempotencyKey: s.Object,
-			Write:          s.class.Idempotency != balancer.Idempotent,
-			Deadline:       now + (t.Deadline-t.sentAt)/1000*1000 - siteconfig.ResponseMargin.Microseconds(),
+			Class:     uint8(r.settingsClass[s.Class]),
+			Tenant:    tenant,
+			Retry:     t.Retry,
+			ObjectKey: s.Object,
+			Write:     s.class.Idempotency != balancer.Idempotent,
+			Deadline:  now + (t.Deadline-t.sentAt)/1000*1000 - siteconfig.ResponseMargin.Microseconds(),
 		},
 	}
 	r.meter.Costs.Decisions++
--- a/internal/wire/decoder.go
+++ b/internal/wire/decoder.go
@@ -238,7 +238,7 @@
 
 func (d *Decoder) request(r *balancer.Request) {
 	r.ID = d.u64()
-	r.IdempotencyKey = d.u64()
+	r.ObjectKey = d.u64()
 	r.Deadline = monotime.Micros(d.u64())
 	r.WorkHint = d.micros()
 	options := d.u8()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -74,7 +74,7 @@
 		t.Fatalf("frame changed: %v", err)
 	}
 	e := decode(t, new(Decoder), f)
-	want := balancer.Request{ID: 0x5bf975d3a91c4, IdempotencyKey: 0x91f03b7c55d20a64, Deadline: 0x8405da,
+	want := balancer.Request{ID: 0x5bf975d3a91c4, ObjectKey: 0x91f03b7c55d20a64, Deadline: 0x8405da,
 		WorkHint: 12000, HasWorkHint: true}
 	if len(e) != 5 || e[0].Instance != 3 || e[1].Request != want || e[2].Token != 77 || e[3].Instance != 5 ||
 		e[4].Outcome.ID != 0xbf5a10e6f2b19 {
