Have clients of a stopping sidecar send before the order, as their test says; race others

Cause: TestLivesOfClients says of its last clients that they have sent all before the order to stop, but started them and stopped at once. One that came while the listener closed got no answer: a listener that is closed resets what has not been accepted. Change: the order waits until they have sent; no connection fails them now, too. Four more clients race the order: one may be closed with no answer only if nothing of it was sent on, which nothing checked before.

--- a/internal/sidecar/life_test.go
+++ b/internal/sidecar/life_test.go
@@ -23,6 +23,8 @@
 	taken map[string][]time.Time
 	left  map[string]time.Time
 	wrong []string
+
+	closed []string // requests of racing clients whose connection was closed with no answer
 }
 
 func (w *witness) logf(format string, args ...any) {
@@ -57,10 +59,16 @@
 		io.WriteString(rw, id)
 	})
 	s := start(t, configure(t, scriptedpeer.ClosedAddress(t), []discovery.Instance{scripteddiscovery.Up("s-1", addr)}))
-	one := func(rng *rand.Rand) {
+	// one is the life of a client's connection. It calls sentAll once the client sends nothing more. A racing client
+	// comes as the sidecar stops: it may find nobody, or be closed with no answer, if nothing of it was sent on.
+	one := func(rng *rand.Rand, racing bool, sentAll func()) {
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
-			return // it has stopped
+			if !racing {
+				w.logf("no connection: %v", err)
+			}
+			sentAll()
+			return
 		}
 		defer c.Close()
 		var ids []string
@@ -79,6 +87,7 @@
 		if stays || rng.IntN(2) == 0 {
 			io.WriteString(c, text[cut:])
 		}
+		sentAll()
 		if !stays {
 			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond) // it waits for a moment
 			if rng.IntN(2) == 0 {
@@ -97,6 +106,12 @@
 		in := bufio.NewReader(c)
 		for i, id := range ids {
 			resp, err := http.ReadResponse(in, nil)
+			if err != nil && racing {
+				w.mu.Lock()
+				w.closed = append(w.closed, ids[i:]...)
+				w.mu.Unlock()
+				return
+			}
 			if err != nil {
 				w.logf("%s, number %d of %d: no answer: %v", id, i, len(ids), err)
 				return
@@ -116,7 +131,7 @@
 		own := rand.New(rand.NewPCG(seed, uint64(i)))
 		clients.Go(func() {
 			for range 8 {
-				one(own)
+				one(own, false, func() {})
 			}
 		})
 	}
@@ -126,10 +141,17 @@
 		all, _ := s.parts.front.ConnectionCounts()
 		return counts.InFlight == 0 && counts.OpenCalls == 0 && all == 0
 	})
-	var last sync.WaitGroup
-	for i := range 4 { // these have sent all that they send before the order to stop
+	// These have sent all that they send before the order to stop: what waits at the listener then is served, too.
+	var last, sending sync.WaitGroup
+	for i := range 4 {
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
-		last.Go(func() { one(own) })
+		sending.Add(1)
+		last.Go(func() { one(own, false, sending.Done) })
+	}
+	sending.Wait()
+	for i := range 4 {
+		own := rand.New(rand.NewPCG(seed, uint64(200+i)))
+		last.Go(func() { one(own, true, func() {}) })
 	}
 	s.stop()
 	last.Wait()
@@ -138,6 +160,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, id := range w.closed {
+		if len(w.taken[id]) > 0 {
+			w.wrong = append(w.wrong, id+" was sent on and never answered")
+		}
+	}
 	for id, at := range w.taken {
 		for _, at := range at {
 			if left, gone := w.left[id]; gone && at.Sub(left) > noticedWithin {
