--- /dev/null
+++ b/internal/experiment/processes/sidecar_test.go
@@ -0,0 +1,87 @@
+package processes
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/config"
+	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/simulation/scenario"
+)
+
+// golden returns a file of testdata/golden. The JSON files there are what build 870f4ac wrote for the scenario and the
+// settings beside them, before this package was refactored. They are never written anew: a sidecar reads this form.
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", "golden", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// newSidecarRun returns a run of sidecars with the golden scenario. Its endpoints have fixed addresses and are not
+// started.
+func newSidecarRun(t *testing.T, settings []byte) *run {
+	t.Helper()
+	s, err := scenario.Parse(golden(t, "sidecar-scenario.toml"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := config.Parse(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &run{
+		options: Options{Daemon: "/usr/bin/dunlinsail"},
+		plan:    s.Draw(77),
+		config:  parsed,
+		site:    &parsed.Site,
+		base:    time.Unix(1_700_000_000, 0),
+	}
+	for n := range r.plan.Endpoints {
+		e := &endpoint{index: n}
+		for i := range r.plan.Instances {
+			e.fronts = append(e.fronts, &front{instance: i, addr: fmt.Sprintf("127.0.0.1:%d", 9000+100*n+i)})
+		}
+		r.endpoints = append(r.endpoints, e)
+	}
+	return r
+}
+
+func TestSidecarConfigIsAsBefore(t *testing.T) {
+	settings := string(golden(t, "sidecar-settings.toml"))
+	// With both files, no two switches have the same values.
+	switched := strings.NewReplacer(
+		`mode = "ask"`, `mode = "watch"`,
+		"cancel = false", "cancel = true",
+		"second_copies = true", "second_copies = false",
+	).Replace(settings)
+	for _, c := range []struct {
+		file     string
+		settings string
+		instance int
+	}{
+		{"sidecar-0.json", settings, 0},
+		{"sidecar-1.json", switched, 1},
+	} {
+		r := newSidecarRun(t, []byte(c.settings))
+		in := &instance{
+			index:       c.instance,
+			listenAddrs: []string{"127.0.0.1:7001", "127.0.0.1:7002"},
+			discovery:   &discoveryserver.Server{Addr: "127.0.0.1:7500"},
+		}
+		got, err := r.sidecarConfig(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := bytes.TrimSpace(golden(t, c.file)); !bytes.Equal(got, want) {
+			t.Errorf("%s: got\n%s\nwant\n%s", c.file, got, want)
+		}
+	}
+}
