--- a/internal/consensus/encoding_test.go
+++ b/internal/consensus/encoding_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -13,6 +12,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"dunlinsail/internal/decide/maintenance"
+	"dunlinsail/internal/fake/golden"
 	"dunlinsail/internal/monotime"
 )
 
@@ -20,49 +20,6 @@
 // was set on these structures. They are what a voter of that build sends, stores and shows to operators: they are
 // read here and must never be rewritten.
 
-// fill sets every exported field under v to a value of its own, and returns the number after the last one used. Maps
-// get one key, slices two elements: their encodings then do not depend on the order of a map.
-func fill(t testing.TB, v reflect.Value, next int) int {
-	t.Helper()
-	switch v.Kind() {
-	case reflect.Pointer:
-		v.Set(reflect.New(v.Type().Elem()))
-		return fill(t, v.Elem(), next)
-	case reflect.Struct:
-		for i := range v.NumField() {
-			if v.Type().Field(i).IsExported() {
-				next = fill(t, v.Field(i), next)
-			}
-		}
-		return next
-	case reflect.Slice:
-		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
-		next = fill(t, v.Index(0), next)
-		return fill(t, v.Index(1), next)
-	case reflect.Map:
-		v.Set(reflect.MakeMap(v.Type()))
-		key := reflect.New(v.Type().Key()).Elem()
-		value := reflect.New(v.Type().Elem()).Elem()
-		next = fill(t, key, next)
-		next = fill(t, value, next)
-		v.SetMapIndex(key, value)
-		return next
-	case reflect.String:
-		v.SetString(fmt.Sprint("text", next))
-	case reflect.Bool:
-		v.SetBool(true)
-	case reflect.Int, reflect.Int64:
-		v.SetInt(int64(next))
-	case reflect.Uint8, reflect.Uint64:
-		v.SetUint(uint64(next % 200))
-	case reflect.Float64:
-		v.SetFloat(float64(next) + 0.25)
-	default:
-		t.Fatalf("no value for a field of type %v", v.Type())
-	}
-	return next + 1
-}
-
 // encoded returns an empty value of each type that instances send each other, the log holds, or an operator's call
 // carries.
 func encoded() map[string]any {
@@ -91,42 +48,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	codecs := map[string]struct {
-		encode func(any) ([]byte, error)
-		decode func([]byte, any) error
-	}{
-		"json": {json.Marshal, func(text []byte, into any) error {
-			d := json.NewDecoder(bytes.NewReader(text))
-			d.DisallowUnknownFields()
-			return d.Decode(into)
-		}},
-		"cbor": {gossipEncoding(t).Marshal, strict.Unmarshal},
-	}
 	for name, empty := range encoded() {
 		for _, form := range []string{"empty", "filled"} {
-			for codec, c := range codecs {
-				t.Run(name+"/"+form+"/"+codec, func(t *testing.T) {
-					value := reflect.New(reflect.TypeOf(empty).Elem())
-					if form == "filled" {
-						fill(t, value.Elem(), 1)
-					}
-					want := readGolden(t, filepath.Join("encoded", name+"."+form+"."+codec))
-					got, err := c.encode(value.Interface())
-					if err != nil {
-						t.Fatal(err)
-					}
-					if !bytes.Equal(got, want) {
-						t.Errorf("encoded as\n%q\nthe build before has\n%q", got, want)
-					}
-					back := reflect.New(value.Type().Elem())
-					if err := c.decode(want, back.Interface()); err != nil {
-						t.Fatal(err)
-					}
-					if !reflect.DeepEqual(back.Interface(), value.Interface()) {
-						t.Errorf("decoded as\n%+v\nit was\n%+v", back.Interface(), value.Interface())
-					}
-				})
+			value := reflect.New(reflect.TypeOf(empty).Elem()).Interface()
+			if form == "filled" {
+				golden.Fill(t, value)
 			}
+			t.Run(name+"/"+form+"/json", func(t *testing.T) {
+				golden.CheckJSON(t, golden.ReadLine(t, "encoded", name+"."+form+".json"), value)
+			})
+			t.Run(name+"/"+form+"/cbor", func(t *testing.T) {
+				want := golden.Read(t, "encoded", name+"."+form+".cbor")
+				got, err := gossipEncoding(t).Marshal(value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !bytes.Equal(got, want) {
+					t.Errorf("encoded as\n%q\nthe build before has\n%q", got, want)
+				}
+				back := reflect.New(reflect.TypeOf(value).Elem()).Interface()
+				if err := strict.Unmarshal(want, back); err != nil {
+					t.Fatal(err)
+				}
+				if !reflect.DeepEqual(back, value) {
+					t.Errorf("decoded as\n%+v\nit was\n%+v", back, value)
+				}
+			})
 		}
 	}
 }
@@ -168,7 +115,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			want := readGolden(t, filepath.Join("stored", "voter-"+name+".state.json"))
+			want := golden.ReadLine(t, "stored", "voter-"+name+".state.json")
 			if !bytes.Equal(got, want) {
 				t.Errorf("the state is\n%s\nby the build before it was\n%s", got, want)
 			}
@@ -183,11 +130,7 @@
 		return // raft's own
 	}
 	var entry logEntry
-	d := json.NewDecoder(bytes.NewReader(stored.GetData()))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&entry); err != nil {
-		t.Fatal(err)
-	}
+	golden.DecodeJSON(t, stored.GetData(), &entry)
 	if text, err := json.Marshal(entry); err != nil || !bytes.Equal(text, stored.GetData()) {
 		t.Errorf("entry %d is encoded as\n%s\nit was\n%s", stored.GetIndex(), text, stored.GetData())
 	}
@@ -224,10 +167,7 @@
 // openStored opens a copy of the file that a voter of the build before has left.
 func openStored(t testing.TB, name string) *BoltStore {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", "stored", "voter-"+name+".bolt"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	text := golden.Read(t, "stored", "voter-"+name+".bolt")
 	path := filepath.Join(t.TempDir(), "log")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
@@ -239,12 +179,3 @@
 	t.Cleanup(func() { closeStore(t, store) })
 	return store
 }
-
-func readGolden(t testing.TB, name string) []byte {
-	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", name))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return bytes.TrimSuffix(text, []byte("\n"))
-}
