Say why the misreporter's member starts under its lock

Need: since the misreporter became a type its member is started under the lock that guards it; started it without. This is the one lock that moved, and no comment gave a reason.

Change: keep the lock and say why. Package peers delivers messages from a goroutine of its own as soon as peers.Start returns, so that could receive a message while the member started: a data race of the harness. No daemon has this code.

The race itself was read in the code, not provoked.

--- a/internal/experiment/processes/misreporter.go
+++ b/internal/experiment/processes/misreporter.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m.mu.Lock()
+	m.mu.Lock() // messages may come as soon as peers has started
 	member.Start(clock.BootTime(), rand.Uint64())
 	m.mu.Unlock()
 	m.done.Go(m.run)
