Show that no two classes of a real run's settings have the same name

Change: a test that a run rejects settings that name a class or a tenant twice, and a comment that the search relies on it. The criteria of all callers come from such settings.

--- a/internal/experiment/processes/run.go
+++ b/internal/experiment/processes/run.go
@@ -292,7 +292,8 @@
 	return result
 }
 
-// mapClassesAndTenants finds the index of each of the plan's classes and tenants among the criteria's.
+// mapClassesAndTenants finds the index of each of the plan's classes and tenants among the criteria's. Names are unique
+// there: package config rejects settings that name a class or a tenant twice.
 func (r *run) mapClassesAndTenants() error {
 	for _, c := range r.plan.Classes {
 		at := slices.IndexFunc(
--- a/internal/experiment/processes/run_test.go
+++ b/internal/experiment/processes/run_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -97,7 +98,7 @@
 		}}
 }
 
-// wanted counts the stories of a plan.
+// plannedOperations counts the operations of a plan.
 func plannedOperations(p *scenario.Plan) (n int64) {
 	for i := range p.Instances {
 		for next := p.Operations(i); ; n++ {
@@ -109,8 +110,8 @@
 	return n
 }
 
-// Whatever goes wrong at endpoints, every story that the plan has is begun and comes to its end, nothing takes effect
-// twice, and no client that waits is left without an answer.
+// Whatever faults endpoints have, every operation of the plan starts and ends, nothing takes effect twice, and no client
+// that waits is left without a response.
 func TestRunCompletesEveryOperationDespiteFaults(t *testing.T) {
 	o := newOptions(t, world+`
 [[event]]
@@ -158,13 +159,15 @@
 	}
 }
 
-// A daemon that cannot start, or ends while it is wanted, is told at once. One that the plan kills comes back.
+// A daemon that cannot start, or exits during the run, is reported at once. One that the plan kills is started again.
 func TestRunReportsDaemonThatExitsUnexpectedly(t *testing.T) {
 	o := newOptions(t, world)
 	o.Daemon = "/bin/false"
 	began := time.Now()
-	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself") || time.Since(began) > scriptedpeer.WaitTimeout {
-		t.Errorf("after %v: %v", time.Since(began), err)
+	_, err := Run(t.Context(), o)
+	took := time.Since(began)
+	if err == nil || !strings.Contains(err.Error(), "ended by itself") || took > scriptedpeer.WaitTimeout {
+		t.Errorf("after %v: %v", took, err)
 	}
 	o = newOptions(t, world+"[[event]]\nwhat = \"restart\"\nat = \"1s\"\nfor = \"500ms\"\n")
 	got, err := Run(t.Context(), o)
@@ -176,6 +179,20 @@
 	}
 }
 
+// Classes and tenants are found by their names, so that a run's settings must not have two of the same name.
+func TestRunRejectsDuplicateNamesInSettings(t *testing.T) {
+	for table, want := range map[string]string{
+		"\n[[class]]\nname = \"book\"\nrepeat = \"safe\"\naim = \"1s\"\ngive_up = \"1s\"\n": `"book" is named twice`,
+		"\n[[tenant]]\nname = \"sonrisa-norte\"\n":                                          `"sonrisa-norte" is named twice`,
+	} {
+		o := newOptions(t, world)
+		o.Settings = append(slices.Clone(o.Settings), table...)
+		if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %s", table, err, want)
+		}
+	}
+}
+
 // A run that is ended leaves nothing behind.
 func TestRunStopsWhenContextIsCancelled(t *testing.T) {
 	ctx, cancel := context.WithTimeoutCause(t.Context(), 1500*time.Millisecond, errors.New("enough"))
