Name the guarded field as it is called

Need: a comment of a real run's endpoint named the field ln, which is now listener.

Change: the comment.

--- a/internal/experiment/processes/endpoint.go
+++ b/internal/experiment/processes/endpoint.go
@@ -33,7 +33,7 @@
 	maxInFlight    int
 	conns          map[net.Conn]struct{}
 
-	frontsMu sync.Mutex // guards ln and http of fronts
+	frontsMu sync.Mutex // guards listener and http of fronts
 	fronts   []*front
 }
 
