Have a misreporter's error name the setting that it needs

Need: two error texts of a run of processes changed in the renaming. "a liar needs instances that know of one another" became "event liar: the instances do not coordinate", and "no client asked for" an ID became "no operation has the ID". The first did not say what to do.

Change: the first text names the setting, peers.on; a test plays the event without it. The second stays as it is.

--- a/internal/experiment/processes/misreporter.go
+++ b/internal/experiment/processes/misreporter.go
@@ -44,7 +44,7 @@
 func (r *run) startMisreporter(demand float64) (stop func(), err error) {
 	own := r.config.Coordination(1)
 	if own == nil {
-		return nil, errors.New("event liar: the instances do not coordinate")
+		return nil, errors.New(`event "liar": the instances do not coordinate: set peers.on in the settings`)
 	}
 	addr, err := freeport.Free()
 	if err != nil {
--- a/internal/experiment/processes/run_test.go
+++ b/internal/experiment/processes/run_test.go
@@ -193,6 +193,13 @@
 	}
 }
 
+func TestRunReportsEventThatNeedsCoordination(t *testing.T) {
+	o := newOptions(t, world+"[[event]]\nwhat = \"liar\"\nat = \"100ms\"\nfor = \"1s\"\nsize = [2.0]\n")
+	if _, err := Run(t.Context(), o); err == nil || !strings.Contains(err.Error(), "set peers.on") {
+		t.Errorf("got %v, want an error that names peers.on", err)
+	}
+}
+
 // A run that is ended leaves nothing behind.
 func TestRunStopsWhenContextIsCancelled(t *testing.T) {
 	ctx, cancel := context.WithTimeoutCause(t.Context(), 1500*time.Millisecond, errors.New("enough"))
