Names of dunlinsaild's config commands: cached versions, dry run, file error

Need: The commands still used words of the earlier house style (known, kept, word, try, whole, tell).

Comments follow. Nothing printed changes.

--- a/cmd/dunlinsaild/adminflag.go
+++ b/cmd/dunlinsaild/adminflag.go
@@ -20,14 +20,14 @@
 	At     string `help:"Or where it is asked." placeholder:"HOST:PORT" xor:"where" required:""`
 }
 
-// address returns the host:port that the flags name, or a *mistakesIn of a file that cannot be read.
+// address returns the host:port that the flags name, or a *fileError of a file that cannot be read.
 func (f *adminFlag) address() (string, error) {
 	if f.Config == "" {
 		return f.At, nil
 	}
 	conf, err := config.Read(f.Config)
 	if err != nil {
-		return "", &mistakesIn{f.Config, err}
+		return "", &fileError{f.Config, err}
 	}
 	if conf.Admin.Address == "" {
 		return "", errors.New("operators.address is not set in that file: nobody can be asked")
--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -19,40 +19,40 @@
 	Versions versionsCmd `cmd:"" help:"Say what is known of versions from the control service: good, on trial, refused and why."`
 	Show     showCmd     `cmd:"" help:"Print what is in one."`
 	Diff     diffCmd     `cmd:"" help:"Say in what two differ."`
-	Try      tryCmd      `cmd:"" help:"Say what would become of a version at this instance, without a service."`
+	DryRun   dryRunCmd   `cmd:"" name:"try" help:"Say what would become of a version at this instance, without a service."`
 	Schema   schemaCmd   `cmd:"" help:"Print the JSON Schema of what a version may hold."`
 }
 
-// known are the versions that an instance keeps.
-type known struct {
-	file *config.Config
-	dir  *configcache.Cache
-	kept *rollout.PersistentState // never nil
+// cachedVersions are the file of an instance and the versions of the control plane that it has on disk.
+type cachedVersions struct {
+	file  *config.Config
+	cache *configcache.Cache
+	state *rollout.PersistentState // never nil
 }
 
-func (f *fileFlag) known() (*known, error) {
+func (f *fileFlag) loadVersions() (*cachedVersions, error) {
 	c, err := f.read()
 	if err != nil {
 		return nil, err
 	}
-	k := &known{file: c, kept: &rollout.PersistentState{}}
+	k := &cachedVersions{file: c, state: &rollout.PersistentState{}}
 	if c.ControlPlane.StateDir == "" {
 		return k, nil
 	}
 	if _, err := os.Stat(c.ControlPlane.StateDir); errors.Is(err, fs.ErrNotExist) {
 		return k, nil // it has never served
 	}
-	if k.dir, err = configcache.Open(c.ControlPlane.StateDir); err != nil {
+	if k.cache, err = configcache.Open(c.ControlPlane.StateDir); err != nil {
 		return nil, err
 	}
-	got, from, err := k.dir.Load()
+	state, fileName, err := k.cache.Load()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "dunlinsaild: %v\n", err)
 	}
-	if got != nil {
-		k.kept = got
-		if from != "state" {
-			fmt.Fprintf(os.Stderr, "dunlinsaild: what follows is from %s\n", from)
+	if state != nil {
+		k.state = state
+		if fileName != "state" {
+			fmt.Fprintf(os.Stderr, "dunlinsaild: what follows is from %s\n", fileName)
 		}
 	}
 	return k, nil
@@ -60,41 +60,41 @@
 
 // resources returns those of a version that is meant by a word: "good", "before", "file", its number as it is listed, or a
 // file of resources in JSON.
-func (k *known) resources(word string) ([]config.Resource, error) {
-	of := func(p *rollout.LayeredVersion) ([]config.Resource, error) {
+func (k *cachedVersions) resources(name string) ([]config.Resource, error) {
+	layered := func(p *rollout.LayeredVersion) ([]config.Resource, error) {
 		if p == nil || p.ControlPlane == nil {
 			return config.Resources(k.file)
 		}
-		text, err := k.dir.Content(p.ControlPlane.Digest)
+		text, err := k.cache.Content(p.ControlPlane.Digest)
 		if err != nil {
 			return nil, err
 		}
-		return parse(text)
+		return parseResources(text)
 	}
-	switch word {
+	switch name {
 	case "good":
-		return of(k.kept.LastKnownGood)
+		return layered(k.state.LastKnownGood)
 	case "before":
-		return of(k.kept.PreviousGood)
+		return layered(k.state.PreviousGood)
 	case "file":
 		return config.Resources(k.file)
 	}
-	for _, p := range []*rollout.LayeredVersion{k.kept.LastKnownGood, k.kept.PreviousGood} {
-		if p != nil && p.ControlPlane != nil && p.ControlPlane.ID.String() == word {
-			return of(p)
+	for _, p := range []*rollout.LayeredVersion{k.state.LastKnownGood, k.state.PreviousGood} {
+		if p != nil && p.ControlPlane != nil && p.ControlPlane.ID.String() == name {
+			return layered(p)
 		}
 	}
-	text, err := os.ReadFile(word)
+	text, err := os.ReadFile(name)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("%q is neither good, before, file, a version that is kept, nor a file of resources", word)
+		return nil, fmt.Errorf("%q is neither good, before, file, a version that is kept, nor a file of resources", name)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return parse(text)
+	return parseResources(text)
 }
 
-func parse(text []byte) ([]config.Resource, error) {
+func parseResources(text []byte) ([]config.Resource, error) {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	var all []config.Resource
@@ -105,51 +105,51 @@
 
 // Run tells what is known.
 func (c *versionsCmd) Run() error {
-	k, err := c.known()
+	k, err := c.loadVersions()
 	if err != nil {
 		return err
 	}
-	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	pair := func(word string, p *rollout.LayeredVersion) {
-		if p != nil {
-			digest := p.File.Digest
-			if p.ControlPlane != nil {
-				digest = p.ControlPlane.Digest
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	printVersion := func(label string, version *rollout.LayeredVersion) {
+		if version != nil {
+			digest := version.File.Digest
+			if version.ControlPlane != nil {
+				digest = version.ControlPlane.Digest
 			}
-			fmt.Fprintf(t, "%s\t%v\t%.12s\n", word, p, digest)
+			fmt.Fprintf(table, "%s\t%v\t%.12s\n", label, version, digest)
 		}
 	}
-	pair("good", k.kept.LastKnownGood)
-	pair("before", k.kept.PreviousGood)
-	if v := k.kept.Unconfirmed; v != nil {
-		fmt.Fprintf(t, "on trial\t%v\t%.12s\tin process %d of those that tried it\n", v.ID, v.Digest, k.kept.ApplyAttempts)
+	printVersion("good", k.state.LastKnownGood)
+	printVersion("before", k.state.PreviousGood)
+	if v := k.state.Unconfirmed; v != nil {
+		fmt.Fprintf(table, "on trial\t%v\t%.12s\tin process %d of those that tried it\n", v.ID, v.Digest, k.state.ApplyAttempts)
 	}
-	for i := range k.kept.Rejected {
-		r := &k.kept.Rejected[i]
-		how := "refused"
+	for i := range k.state.Rejected {
+		r := &k.state.Rejected[i]
+		outcome := "refused"
 		if r.RolledBack {
-			how = "gone back from"
+			outcome = "gone back from"
 		}
-		fmt.Fprintf(t, "%s\t%v\t%.12s\t%s\n", how, r.ID, r.Digest, r.Reason)
+		fmt.Fprintf(table, "%s\t%v\t%.12s\t%s\n", outcome, r.ID, r.Digest, r.Reason)
 	}
-	if len(k.kept.AbandonedEpochs) > 0 {
-		fmt.Fprintf(t, "epochs left\t%s\n", strings.Join(k.kept.AbandonedEpochs, ", "))
+	if len(k.state.AbandonedEpochs) > 0 {
+		fmt.Fprintf(table, "epochs left\t%s\n", strings.Join(k.state.AbandonedEpochs, ", "))
 	}
-	if k.kept.LastKnownGood == nil {
-		fmt.Fprintln(t, "no version is kept: the file alone is what runs")
+	if k.state.LastKnownGood == nil {
+		fmt.Fprintln(table, "no version is kept: the file alone is what runs")
 	}
-	return t.Flush()
+	return table.Flush()
 }
 
 type showCmd struct {
 	fileFlag
-	Version string `arg:"" optional:"" default:"good" help:"good, before, file, a version that is kept, or a file of resources."`
-	Whole   bool   `help:"Print the whole configuration that it comes to over the file, as TOML."`
+	Version  string `arg:"" optional:"" default:"good" help:"good, before, file, a version that is kept, or a file of resources."`
+	Combined bool   `name:"whole" help:"Print the whole configuration that it comes to over the file, as TOML."`
 }
 
 // Run prints one.
 func (c *showCmd) Run() error {
-	k, err := c.known()
+	k, err := c.loadVersions()
 	if err != nil {
 		return err
 	}
@@ -157,12 +157,12 @@
 	if err != nil {
 		return err
 	}
-	if c.Whole {
-		made, err := config.Combine(k.file, all)
+	if c.Combined {
+		combined, err := config.Combine(k.file, all)
 		if err != nil {
 			return err
 		}
-		_, err = os.Stdout.Write(made.Text)
+		_, err = os.Stdout.Write(combined.Text)
 		return err
 	}
 	e := json.NewEncoder(os.Stdout)
@@ -178,7 +178,7 @@
 
 // Run compares two.
 func (c *diffCmd) Run() error {
-	k, err := c.known()
+	k, err := c.loadVersions()
 	if err != nil {
 		return err
 	}
@@ -196,33 +196,33 @@
 	return nil
 }
 
-type tryCmd struct {
+type dryRunCmd struct {
 	fileFlag
 	Resources string `arg:"" help:"A file of resources in JSON, as config show prints them." type:"existingfile"`
 }
 
 // Run says what would become of a version.
-func (c *tryCmd) Run() error {
-	k, err := c.known()
+func (c *dryRunCmd) Run() error {
+	k, err := c.loadVersions()
 	if err != nil {
 		return err
 	}
 	all, err := k.resources(c.Resources)
 	if err != nil {
-		return &mistakesIn{c.Resources, err}
+		return &fileError{c.Resources, err}
 	}
-	made, err := config.Combine(k.file, all)
+	combined, err := config.Combine(k.file, all)
 	if err != nil {
-		return &mistakesIn{c.Resources, err}
+		return &fileError{c.Resources, err}
 	}
-	now := k.file
-	if good, err := k.resources("good"); err == nil && k.kept.LastKnownGood != nil && k.kept.LastKnownGood.ControlPlane != nil {
+	running := k.file
+	if good, err := k.resources("good"); err == nil && k.state.LastKnownGood != nil && k.state.LastKnownGood.ControlPlane != nil {
 		if c, err := config.Combine(k.file, good); err == nil {
-			now = c
+			running = c
 		}
 	}
 	fmt.Printf("%s: sound\n", c.Resources)
-	if tables := now.TablesNeedingRestart(made); len(tables) > 0 {
+	if tables := running.TablesNeedingRestart(combined); len(tables) > 0 {
 		fmt.Printf("a new generation would take over, for %s: open requests end in the old one, connections go on\n", strings.Join(tables, ", "))
 	} else {
 		fmt.Println("it would be changed into while serving")
--- a/cmd/dunlinsaild/main.go
+++ b/cmd/dunlinsaild/main.go
@@ -45,7 +45,7 @@
 	parser, err := kong.New(&c, kong.Name("dunlinsaild"), kong.Description("Balances the requests of a host's client processes. See docs/operators/daemon.md."),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Vars{"user": os.Getenv("USER")}, adminHelp, workHelp)
 	if err != nil {
-		panic(err) // of the program's own words
+		panic(err) // the tags of the commands are invalid
 	}
 	command, err := parser.Parse(args)
 	if err != nil {
@@ -55,34 +55,34 @@
 	command.BindTo(stop, (*context.Context)(nil))
 	command.Bind(reload)
 	err = command.Run()
-	var mistakes *mistakesIn
+	var invalid *fileError
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.As(err, &mistakes):
-		mistakes.tell()
+	case errors.As(err, &invalid):
+		invalid.print()
 		return exitUsage
 	}
 	fmt.Fprintln(os.Stderr, "dunlinsaild:", err)
 	return exitFailed
 }
 
-// mistakesIn is a file that cannot be read, or makes no sense.
-type mistakesIn struct {
+// fileError is the error of a file that cannot be read or is invalid.
+type fileError struct {
 	path string
 	err  error
 }
 
-func (m *mistakesIn) Error() string { return m.err.Error() }
+func (e *fileError) Error() string { return e.err.Error() }
 
-// tell says what is wrong, a line for each mistake.
-func (m *mistakesIn) tell() {
+// print prints the error to standard error, a line for each mistake.
+func (e *fileError) print() {
 	var all stricttoml.Errors
-	if !errors.As(m.err, &all) {
-		fmt.Fprintln(os.Stderr, m.err)
+	if !errors.As(e.err, &all) {
+		fmt.Fprintln(os.Stderr, e.err)
 		return
 	}
-	for _, e := range all {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", m.path, e)
+	for _, mistake := range all {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", e.path, mistake)
 	}
 }
--- a/cmd/dunlinsaild/members.go
+++ b/cmd/dunlinsaild/members.go
@@ -17,7 +17,7 @@
 	JSON bool `name:"json" help:"For programs."`
 }
 
-// Run tells what a daemon knows of its fleet.
+// Run prints a daemon's view of its fleet.
 func (c *membersCmd) Run(stop context.Context) error {
 	text, err := c.call(stop, "/members", nil)
 	if err != nil {
@@ -31,15 +31,15 @@
 	if err := json.Unmarshal(text, &v); err != nil {
 		return err
 	}
-	return tellMembers(os.Stdout, &v)
+	return printMembers(os.Stdout, &v)
 }
 
 func micros(v int64) time.Duration {
 	return (time.Duration(v) * time.Microsecond).Round(10 * time.Millisecond)
 }
 
-// tellMembers tells a view to people.
-func tellMembers(out io.Writer, v *daemon.View) error {
+// printMembers prints a daemon's view of its fleet for people.
+func printMembers(out io.Writer, v *daemon.View) error {
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s sees:\n", v.Name)
 	fmt.Fprintln(w, "INSTANCE\tADDRESS\tSTATE\tSINCE")
--- a/cmd/dunlinsaild/members_test.go
+++ b/cmd/dunlinsaild/members_test.go
@@ -16,10 +16,10 @@
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
-// one is a daemon's process.
-type one struct {
-	cmd            *exec.Cmd
-	peers, ask, at string
+// daemonProcess is the process of a daemon, with the addresses in its file.
+type daemonProcess struct {
+	cmd                                        *exec.Cmd
+	gossipAddress, adminAddress, clientAddress string
 }
 
 // Two fleets on one machine whose files name each other's addresses do not mix: each lends by itself, and what one's instances may
@@ -35,12 +35,12 @@
 		t.Fatal(err)
 	}
 	defer r.Close()
-	all := map[string]*one{}
+	all := map[string]*daemonProcess{}
 	var join []string
 	names := []string{"a", "b", "c", "d"}
 	for _, name := range names {
-		all[name] = &one{peers: scriptedpeer.ClosedAddress(t), ask: scriptedpeer.ClosedAddress(t), at: scriptedpeer.ClosedAddress(t)}
-		join = append(join, fmt.Sprintf("%q", all[name].peers))
+		all[name] = &daemonProcess{gossipAddress: scriptedpeer.ClosedAddress(t), adminAddress: scriptedpeer.ClosedAddress(t), clientAddress: scriptedpeer.ClosedAddress(t)}
+		join = append(join, fmt.Sprintf("%q", all[name].gossipAddress))
 	}
 	for i, name := range names {
 		o, lender := all[name], names[i/2*2]
@@ -58,9 +58,9 @@
 [[tenant]]
 name = "t"
 limit = 40.0
-[discovery]`, i/2, o.peers, strings.Join(join, ", "), lender, o.ask), 1)
+[discovery]`, i/2, o.gossipAddress, strings.Join(join, ", "), lender, o.adminAddress), 1)
 		at := strings.Split(strings.Split(text, "name = \"desk\"\naddress = \"")[1], "\"")[0]
-		o.at = at
+		o.clientAddress = at
 		text = "name = \"" + name + "\"\n" + text
 		o.cmd = program("--config", write(t, text), "--announce")
 		out, err := o.cmd.StdoutPipe()
@@ -79,7 +79,7 @@
 		}
 	}
 	view := func(name string) (v daemon.View) {
-		code, out, errs := ends(t, "members", "--at", all[name].ask, "--json")
+		code, out, errs := ends(t, "members", "--at", all[name].adminAddress, "--json")
 		if code != 0 || json.Unmarshal([]byte(out), &v) != nil {
 			t.Fatalf("members of %s: %d %q %q", name, code, out, errs)
 		}
@@ -103,14 +103,14 @@
 			t.Errorf("%s sees %q", name, s)
 		}
 	}
-	if code, out, _ := ends(t, "members", "--at", all["a"].ask); code != 0 || !strings.Contains(out, "a lends") || !strings.Contains(out, "tenant/t") || !strings.Contains(out, "It has lent") {
+	if code, out, _ := ends(t, "members", "--at", all["a"].adminAddress); code != 0 || !strings.Contains(out, "a lends") || !strings.Contains(out, "tenant/t") || !strings.Contains(out, "It has lent") {
 		t.Errorf("%d %q", code, out)
 	}
 	// All ask for far more than the limits at once: each fleet lets in what it may, and says when to return of the rest.
 	let := map[int]int{}
 	for i, name := range names {
 		for k := range 60 {
-			q, _ := http.NewRequest(http.MethodGet, "http://"+all[name].at+"/look/x", nil)
+			q, _ := http.NewRequest(http.MethodGet, "http://"+all[name].clientAddress+"/look/x", nil)
 			q.Header.Set("X-Trace-Id", fmt.Sprintf("%s-%d", name, k))
 			q.Header.Set("X-Customer", "t")
 			resp, err := http.DefaultClient.Do(q)
@@ -131,7 +131,7 @@
 			t.Errorf("fleet %d lets in %d", i, let[i])
 		}
 	}
-	if resp, err := http.Get("http://" + all["b"].ask + "/metrics"); err != nil {
+	if resp, err := http.Get("http://" + all["b"].adminAddress + "/metrics"); err != nil {
 		t.Error(err)
 	} else {
 		lines := bufio.NewScanner(resp.Body)
--- a/cmd/dunlinsaild/serve.go
+++ b/cmd/dunlinsaild/serve.go
@@ -22,7 +22,7 @@
 func (f *fileFlag) read() (*config.Config, error) {
 	c, err := config.Read(f.Config)
 	if err != nil {
-		return nil, &mistakesIn{f.Config, err}
+		return nil, &fileError{f.Config, err}
 	}
 	return c, nil
 }
