Quiet fleets: fields in standard names, the run in functions of one job

Need: the measurement of quiet fleets had a function of 78 lines, options named For, NodeIdle and Short, seven parameters in a row, and lines of up to 180 columns.

Change: Options, Result and QuietOptions have whole names; starting an instance, sending requests, counting at the endpoints and printing are functions of their own. Flags, the printed lines, draws and figures stay. The options pass as JSON between two processes of one build only.

Measured: go test -race ./internal/bench/quietfleet passes.

--- a/cmd/dunlinbench/main.go
+++ b/cmd/dunlinbench/main.go
@@ -130,7 +130,9 @@
 			}
 			all = append(all, n)
 		}
-		return bench.Quiet(ctx, os.Stdout, all, *nodes, *rate, *warm, *each)
+		return bench.Quiet(ctx, os.Stdout, bench.QuietOptions{
+			Sizes: all, Endpoints: *nodes, Rate: *rate, Warmup: *warm, Duration: *each,
+		})
 	case "quiet-fleet": // a part of the measurement before, not one itself
 		var o quietfleet.Options
 		if err := json.Unmarshal([]byte(args[0]), &o); err != nil {
--- a/internal/bench/quietfleet/quietfleet_test.go
+++ b/internal/bench/quietfleet/quietfleet_test.go
@@ -8,29 +8,34 @@
 	"dunlinsail/internal/fake/endpoint"
 )
 
-// A short form of the measurement: with budgets, ten times the instances probe the nodes no more and are served as well;
-// without, they probe far more.
+// A short form of the measurement: with budgets, ten times the instances probe the endpoints no more and are served as
+// well; without, they probe far more.
 func TestProbesStayFlat(t *testing.T) {
 	const rate, span, budget, nodes = 60, 2 * time.Second, 3.0, 4
 	probes := func(instances, subset int) float64 {
-		o := Options{Instances: instances, Rate: rate, For: span, Subset: subset}
+		o := Options{Instances: instances, Rate: rate, Duration: span, Subset: subset}
 		if subset > 0 {
-			o.NodeProbes, o.NodeIdle = budget, 20
+			o.EndpointProbes = budget
+			o.EndpointIdleConnections = 20
 		}
 		var servers []*endpoint.Server
 		for range nodes {
-			s, err := endpoint.Start(endpoint.Options{ServiceTime: map[string]time.Duration{"": time.Millisecond}, Cores: 4})
+			s, err := endpoint.Start(endpoint.Options{
+				ServiceTime: map[string]time.Duration{"": time.Millisecond},
+				Cores:       4,
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer s.Close()
-			servers, o.Nodes = append(servers, s), append(o.Nodes, s.Addr)
+			servers = append(servers, s)
+			o.Endpoints = append(o.Endpoints, s.Addr)
 		}
 		r, err := Run(context.Background(), o)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if r.Served+r.Refused+r.Failed != r.Asked || r.Served < r.Asked*98/100 || r.Short > 0 {
+		if r.Served+r.Rejected+r.Failed != r.Requested || r.Served < r.Requested*98/100 || r.OutOfDescriptors > 0 {
 			t.Errorf("%d instances, subsets of %d: %+v", instances, subset, r)
 		}
 		n := 0
@@ -39,9 +44,12 @@
 		}
 		return float64(n) / nodes / span.Seconds()
 	}
-	few, many, off := probes(8, 2), probes(80, 2), probes(80, 0)
+	few := probes(8, 2)
+	many := probes(80, 2)
+	off := probes(80, 0)
 	if few > 1.4*budget || many > 1.4*budget { // a part of what a bucket holds comes first
-		t.Errorf("%.2f and %.2f probes a second at a node with 8 and 80 instances, the budget is %v", few, many, budget)
+		t.Errorf("%.2f and %.2f probes a second at an endpoint with 8 and 80 instances, the budget is %v",
+			few, many, budget)
 	}
 	if off < 4*many {
 		t.Errorf("%.2f probes a second without a budget, %.2f with one", off, many)
