Disconnect a predecessor once when it is lost while its successor starts

Cause: the successor's machine disconnects when its predecessor is lost while the host starts, and again when the start is then stopped or late. The lifecycle closed a connection that it no longer had, and the process panicked.

Change: as for the successor's connection, a connection that is gone is not closed again. The host hears of it once.

--- /dev/null
+++ b/internal/takeover/lifecycle_test.go
@@ -0,0 +1,147 @@
+package takeover
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	decide "dunlinsail/internal/decide/takeover"
+)
+
+// stubHost is a host that is never ready, and records what it was called for.
+type stubHost struct{ calls []string }
+
+func (h *stubHost) record(call string) { h.calls = append(h.calls, call) }
+
+func (h *stubHost) ReceiveOffer(Message) { h.record("ReceiveOffer") }
+
+func (h *stubHost) StartWithOffer() error {
+	h.record("StartWithOffer")
+	return nil
+}
+
+func (h *stubHost) WaitReady(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (h *stubHost) RestoreHandover([]byte) { h.record("RestoreHandover") }
+
+func (h *stubHost) StartServing() { h.record("StartServing") }
+
+func (h *stubHost) StartAlone() error {
+	h.record("StartAlone")
+	return nil
+}
+
+func (h *stubHost) StartError(reason string) error { return errors.New(reason) }
+
+func (h *stubHost) AdoptConnection(conn net.Conn) { conn.Close() }
+
+func (h *stubHost) PredecessorLeaving(conn *Conn) {
+	if conn == nil {
+		h.record("PredecessorLeaving without a connection")
+		return
+	}
+	h.record("PredecessorLeaving")
+}
+
+func (h *stubHost) Offer(*Conn) Message { return Message{Kind: decide.Offer} }
+
+func (h *stubHost) StopAccepting() []byte { return nil }
+
+func (h *stubHost) Activating() {}
+
+func (h *stubHost) HandOverConnections(*Conn) {}
+
+func (h *stubHost) ResumeServing() {}
+
+func (h *stubHost) Drain() {}
+
+func (h *stubHost) CloseRemaining() {}
+
+func (h *stubHost) SendFailed(error) {}
+
+func (h *stubHost) SuccessorLeaving(*Conn) {}
+
+func (h *stubHost) HandingOver(bool) {}
+
+func (h *stubHost) ReceiveCordons([]byte) {}
+
+// runEvent runs the next event of a lifecycle.
+func runEvent(t *testing.T, l *Lifecycle) {
+	t.Helper()
+	select {
+	case event := <-l.Loop.Events:
+		event()
+	case <-time.After(10 * time.Second):
+		t.Fatalf("no event while the successor is %v", &l.Successor)
+	}
+}
+
+// startingWithoutPredecessor returns the lifecycle of a successor whose predecessor was lost after its offer, while
+// the host was starting. The time to become ready is over.
+func startingWithoutPredecessor(t *testing.T, host *stubHost, ownsSockets bool) *Lifecycle {
+	t.Helper()
+	times := decide.Times{Ready: 1, Answer: 1, Drain: 1}
+	l := NewLifecycle(host, nil, times, slog.New(slog.DiscardHandler))
+	l.Successor.OwnsSockets = ownsSockets
+	t.Cleanup(func() {
+		l.CloseLoop()
+		l.CloseConns()
+		l.Loop.Goroutines.Wait()
+	})
+	predecessor, successor := pair(t)
+	l.Connect(successor)
+	if m, err := predecessor.Read(); err != nil || m.Kind != decide.Hello { // unread, it would end the connection early
+		t.Fatalf("first message %v, %v", m.Kind, err)
+	}
+	if err := predecessor.Write(Message{Kind: decide.Offer}); err != nil {
+		t.Fatal(err)
+	}
+	predecessor.Close()
+	for l.PredecessorConn != nil {
+		runEvent(t, l)
+	}
+	return l
+}
+
+// A predecessor that is lost while its successor starts is disconnected once: what ends or continues the start later
+// finds no connection any more.
+func TestPredecessorLostWhileStarting(t *testing.T) {
+	lost := []string{"ReceiveOffer", "StartWithOffer", "PredecessorLeaving"}
+	for _, tc := range []struct {
+		name        string
+		ownsSockets bool
+		event       decide.Event
+		result      string // "" if the lifecycle goes on
+	}{
+		{"stop", false, decide.Stop, "told to stop"},
+		{"stop, own sockets", true, decide.Stop, "told to stop"},
+		{"deadline", false, decide.DeadlineReached, "no progress in time while starting"},
+		{"deadline, own sockets", true, decide.DeadlineReached, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			host := &stubHost{}
+			l := startingWithoutPredecessor(t, host, tc.ownsSockets)
+			l.StepSuccessor(tc.event, "")
+			if !slices.Equal(host.calls, lost) {
+				t.Errorf("calls %q, want %q", host.calls, lost)
+			}
+			if tc.result != "" {
+				if err := l.Result(); !l.Ended() || err == nil || err.Error() != tc.result {
+					t.Errorf("ended %v with %v, want %q", l.Ended(), err, tc.result)
+				}
+				return
+			}
+			l.StepSuccessor(decide.Started, "")
+			if want := append(slices.Clip(lost), "StartServing"); l.Ended() || !slices.Equal(host.calls, want) {
+				t.Errorf("ended %v, calls once it could serve %q, want %q", l.Ended(), host.calls, want)
+			}
+		})
+	}
+}
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -51,9 +51,7 @@
 		case decide.Send:
 			l.sendToPredecessor(step)
 		case decide.Disconnect:
-			l.host.PredecessorLeaving(l.PredecessorConn)
-			l.PredecessorConn.Close()
-			l.PredecessorConn = nil
+			l.disconnectPredecessor()
 		case decide.StartWithOffer:
 			l.startWithOffer()
 		case decide.RestoreState:
@@ -72,6 +70,16 @@
 	}
 }
 
+// disconnectPredecessor closes the connection to the predecessor, unless that was lost earlier.
+func (l *Lifecycle) disconnectPredecessor() {
+	if l.PredecessorConn == nil {
+		return
+	}
+	l.host.PredecessorLeaving(l.PredecessorConn)
+	l.PredecessorConn.Close()
+	l.PredecessorConn = nil
+}
+
 // sendToPredecessor sends a step's message. A failure shows as the connection's end.
 func (l *Lifecycle) sendToPredecessor(step decide.Step) {
 	m := Message{Kind: step.Message, Payload: []byte(step.Reason)}
