Force the order of messages in the test of a predecessor told to stop meanwhile

Cause: TestPredecessorIsLost/told_to_stop_meanwhile sends Offer and Handover and expects Prepared. A successor that becomes ready between the two rightly sends Ready first: 'ready "", want prepared'.

Change: discovery is silent until the successor has handled the handover, so it is ready only after it. The test sees that by the end of a pipe whose other end comes with a last message, which the successor closes. The expected messages are the same.

--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -405,6 +405,28 @@
 	return g
 }
 
+// waitReceived waits until the successor has handled all messages that were sent, in order: it closes the file that
+// comes with the last one.
+func (g *scriptedPredecessor) waitReceived() {
+	g.Helper()
+	ours, theirs, err := os.Pipe()
+	if err != nil {
+		g.Fatal(err)
+	}
+	defer ours.Close()
+	err = g.Write(takeover.Message{Kind: takeover.Cordons, Payload: []byte("[]"), Sockets: []syscall.Conn{theirs}})
+	theirs.Close()
+	if err != nil {
+		g.Fatal(err)
+	}
+	if err := ours.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout)); err != nil {
+		g.Fatal(err)
+	}
+	if n, err := ours.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		g.Fatalf("waiting until the messages are handled: %d bytes, %v", n, err)
+	}
+}
+
 // A snapshot that is truncated, spoilt, of another version, another configuration or another discovery is refused
 // as far as it does not fit, and the new process serves all the same, with what discovery tells it.
 func TestSnapshotsThatDoNotMatch(t *testing.T) {
@@ -496,8 +518,12 @@
 			g.Close()
 		}, true},
 		{"told to stop meanwhile", func(g *scriptedPredecessor) {
+			w.discovery.SetSilent(true) // without an endpoint it does not become ready before the handover
+			g.Cleanup(func() { w.discovery.SetSilent(false) })
 			g.send(decide.Offer, "{}")
 			g.send(decide.Handover, "")
+			g.waitReceived()
+			w.discovery.SetSilent(false)
 			g.expect(decide.Prepared)
 			g.send(decide.Activate, "")
 			g.send(decide.Done, "")
