Upstream: full names for locals, runRandomEvents in steps, lines within 120 columns

Need: attempts, requests and responses went by t, q, a and g, the test of random events had one function of 76 lines, and 17 lines were over 120 columns.

Change: locals are named after what they hold; the test's endpoint, attempt, drawn events and final check are functions of their own, with the random draws in the same order; tests share newAttempt in place of five copies of it.

--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -42,29 +42,33 @@
 
 // SendBuffered makes one attempt (core.AttemptFunc, but for the request). The Response of its result is a
 // *BufferedResponse.
-func (p *Pool) SendBuffered(ctx context.Context, t *core.AttemptContext, m *BufferedRequest) engine.AttemptResult {
-	c, left, status := p.acquire(ctx, t)
+func (p *Pool) SendBuffered(
+	ctx context.Context, attempt *core.AttemptContext, m *BufferedRequest,
+) engine.AttemptResult {
+	c, leftMs, status := p.acquire(ctx, attempt)
 	if c == nil {
 		return p.result(status)
 	}
-	return p.roundTrip(ctx, c, m.encode(left), &p.forwarded, func(keep bool) { p.release(c, t, keep) })
+	return p.roundTrip(ctx, c, m.encode(leftMs), &p.forwarded, func(keep bool) { p.release(c, attempt, keep) })
 }
 
 // acquire returns a connection for an attempt that may be sent now, and the milliseconds that are left for it; or no
 // connection, and the status of the attempt.
-func (p *Pool) acquire(ctx context.Context, t *core.AttemptContext) (c *Conn, leftMs int64, status balancer.Status) {
-	c, err := p.Get(ctx, t.Target.(*Target))
+func (p *Pool) acquire(
+	ctx context.Context, attempt *core.AttemptContext,
+) (c *Conn, leftMs int64, status balancer.Status) {
+	c, err := p.Get(ctx, attempt.Target.(*Target))
 	if err != nil {
 		return nil, 0, p.noConnStatus(ctx, err)
 	}
-	if t.OnAbort != nil && !t.OnAbort(func() { c.Conn.Close() }) {
-		p.releaseUnused(c, t)
+	if attempt.OnAbort != nil && !attempt.OnAbort(func() { c.Conn.Close() }) {
+		p.releaseUnused(c, attempt)
 		return nil, 0, balancer.NotSent
 	}
 	now := p.options.Clock.Now()
-	leftMs = (t.Deadline - now) / 1000
-	if leftMs < 1 || !t.ClaimSend(now) {
-		p.releaseUnused(c, t)
+	leftMs = (attempt.Deadline - now) / 1000
+	if leftMs < 1 || !attempt.ClaimSend(now) {
+		p.releaseUnused(c, attempt)
 		return nil, 0, balancer.NotSent
 	}
 	return c, leftMs, balancer.OK
@@ -72,8 +76,8 @@
 
 // release ends an attempt's use of a connection, which is kept if the exchange on it is complete and it was not
 // aborted.
-func (p *Pool) release(c *Conn, t *core.AttemptContext, keep bool) {
-	if t.ReleaseConn != nil && !t.ReleaseConn() {
+func (p *Pool) release(c *Conn, attempt *core.AttemptContext, keep bool) {
+	if attempt.ReleaseConn != nil && !attempt.ReleaseConn() {
 		keep = false
 	}
 	if keep {
@@ -84,8 +88,8 @@
 }
 
 // releaseUnused ends an attempt's use of a connection on which nothing was written.
-func (p *Pool) releaseUnused(c *Conn, t *core.AttemptContext) {
-	if t.ReleaseConn != nil && !t.ReleaseConn() {
+func (p *Pool) releaseUnused(c *Conn, attempt *core.AttemptContext) {
+	if attempt.ReleaseConn != nil && !attempt.ReleaseConn() {
 		p.Discard(c)
 		return
 	}
@@ -97,30 +101,30 @@
 	p := to.pool
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	// A probe may go where a second answer may still come: it is known by its report.
+	// A probe may use a connection on which a second response may still arrive: its own is recognized by its report.
 	c, _, err := p.getConn(ctx, to, true)
 	if err != nil {
 		return p.result(p.noConnStatus(ctx, err))
 	}
-	answered := c.lastResponse
+	lastResponse := c.lastResponse
 	m := BufferedRequest{Method: http.MethodGet, URI: "/-/healthy", Host: to.addr}
 	if len(p.options.LoadFields) > 0 {
 		m.URI = "/-/load"
 	}
 	keep := false
-	r := p.roundTrip(ctx, c, m.encode(0), nil, func(whole bool) { keep = whole })
-	if r.Status == balancer.OK && len(p.options.LoadFields) > 0 {
-		r.Load = parseLoad(p.options.LoadFields, string(r.Response.(*BufferedResponse).Body))
-		keep = keep && r.Load != nil // else it was the answer to something else, perhaps, and its own may follow
+	result := p.roundTrip(ctx, c, m.encode(0), nil, func(reusable bool) { keep = reusable })
+	if result.Status == balancer.OK && len(p.options.LoadFields) > 0 {
+		result.Load = parseLoad(p.options.LoadFields, string(result.Response.(*BufferedResponse).Body))
+		keep = keep && result.Load != nil // otherwise it may be the response to another request, and its own may follow
 	} else {
-		answered = time.Now() // what tells nothing may have been another's
+		lastResponse = time.Now() // a response without a report may be that to another request
 	}
 	if keep {
-		p.putAfterResponse(c, answered)
+		p.putAfterResponse(c, lastResponse)
 	} else {
 		p.Discard(c)
 	}
-	return r
+	return result
 }
 
 func (p *Pool) result(status balancer.Status) engine.AttemptResult {
@@ -145,31 +149,32 @@
 	if written != nil {
 		written.Add(1)
 	}
-	a, err := c.readResponse()
-	r := p.result(balancer.Reset)
-	release(stop() && err == nil && !a.closeAfter && c.reader.Buffered() == 0)
+	response, err := c.readResponse()
+	result := p.result(balancer.Reset)
+	release(stop() && err == nil && !response.closeAfter && c.reader.Buffered() == 0)
 	if err != nil {
-		return r
+		return result
 	}
+	code := response.statusCode
+	unavailable := code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
 	switch {
-	case a.statusCode == http.StatusOK:
-		r.Status = balancer.OK
-		r.Response = &a.BufferedResponse
-	case (a.statusCode == http.StatusServiceUnavailable || a.statusCode == http.StatusGatewayTimeout) &&
-		a.Header.Get("X-Never-Ran") == "1":
-		r.Status = balancer.Rejected
+	case code == http.StatusOK:
+		result.Status = balancer.OK
+		result.Response = &response.BufferedResponse
+	case unavailable && response.Header.Get("X-Never-Ran") == "1":
+		result.Status = balancer.Rejected
 	default:
-		r.Status = balancer.Error
+		result.Status = balancer.Error
 	}
 	if p.options.LoadInResponses {
-		r.Load = parseLoad(p.options.LoadFields, a.Header.Get("Endpoint-Load-Metrics"))
+		result.Load = parseLoad(p.options.LoadFields, response.Header.Get("Endpoint-Load-Metrics"))
 	}
-	return r
+	return result
 }
 
 const (
-	maxInterimResponses = 8                      // answers 1xx ahead of the one that counts
-	maxResponseStall    = 100 * time.Millisecond // an answer that has begun is whole within this
+	maxInterimResponses = 8                      // 1xx responses before the final one
+	maxResponseStall    = 100 * time.Millisecond // from the first byte of a response to its last
 )
 
 var (
@@ -195,16 +200,16 @@
 			return nil, err
 		}
 		c.SetReadDeadline(time.Now().Add(maxResponseStall))
-		a, err := c.readHead()
+		response, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
-		if a.statusCode < 200 {
+		if response.statusCode < 200 {
 			continue
 		}
-		a.Body, err = c.readBody(a)
+		response.Body, err = c.readBody(response)
 		c.SetReadDeadline(time.Time{})
-		return a, err
+		return response, err
 	}
 	return nil, errResponseTooLarge
 }
@@ -218,8 +223,8 @@
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
-	a := &parsedResponse{}
-	if a.statusCode, err = strconv.Atoi(code); err != nil || len(code) != 3 || a.statusCode < 100 ||
+	response := &parsedResponse{}
+	if response.statusCode, err = strconv.Atoi(code); err != nil || len(code) != 3 || response.statusCode < 100 ||
 		version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return nil, errMalformedResponse
 	}
@@ -227,18 +232,18 @@
 	if err != nil {
 		return nil, err
 	}
-	a.Header = http.Header(header)
-	a.closeAfter = version == "HTTP/1.0"
-	for _, v := range a.Header["Connection"] {
-		a.closeAfter = a.closeAfter || strings.Contains(strings.ToLower(v), "close")
+	response.Header = http.Header(header)
+	response.closeAfter = version == "HTTP/1.0"
+	for _, v := range response.Header["Connection"] {
+		response.closeAfter = response.closeAfter || strings.Contains(strings.ToLower(v), "close")
 	}
-	return a, nil
+	return response, nil
 }
 
 // readBody reads the body that the head announces.
-func (c *Conn) readBody(a *parsedResponse) ([]byte, error) {
-	lengths := a.Header["Content-Length"]
-	encodings := a.Header["Transfer-Encoding"]
+func (c *Conn) readBody(response *parsedResponse) ([]byte, error) {
+	lengths := response.Header["Content-Length"]
+	encodings := response.Header["Transfer-Encoding"]
 	switch {
 	case len(lengths) == 1 && len(encodings) == 0:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
@@ -260,7 +265,8 @@
 			_, err = textproto.NewReader(c.reader).ReadMIMEHeader() // the trailer
 		}
 		return body, err
-	case len(lengths) == 0 && len(encodings) == 0 && (a.statusCode == http.StatusNoContent || a.statusCode == http.StatusNotModified):
+	case len(lengths) == 0 && len(encodings) == 0 &&
+		(response.statusCode == http.StatusNoContent || response.statusCode == http.StatusNotModified):
 		return nil, nil
 	}
 	return nil, errAmbiguousLength
@@ -290,15 +296,15 @@
 	return b.Bytes()
 }
 
-// parseLoad reads a report, TEXT name=value, name=value, into the order of fields. A figure that is missing
-// or makes no sense is NaN, never zero; a report without any sound figure is none.
+// parseLoad parses a load report, TEXT name=value, name=value, and returns the values in the order of fields. A value
+// that is missing or invalid is NaN, never zero; a report without any valid value is nil.
 func parseLoad(fields []string, text string) []float32 {
 	text = strings.TrimPrefix(strings.TrimSpace(text), "TEXT ")
 	load := make([]float32, len(fields))
 	for i := range load {
 		load[i] = float32(math.NaN())
 	}
-	any := false
+	anyValid := false
 	for _, pair := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
@@ -308,11 +314,11 @@
 		for i, f := range fields {
 			if f == strings.TrimSpace(name) {
 				load[i] = float32(v)
-				any = true
+				anyValid = true
 			}
 		}
 	}
-	if !any {
+	if !anyValid {
 		return nil
 	}
 	return load
--- a/internal/upstream/connections_test.go
+++ b/internal/upstream/connections_test.go
@@ -13,12 +13,10 @@
 	"time"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/core"
 	"dunlinsail/internal/fake/scriptedpeer"
-	"dunlinsail/internal/monotime"
 )
 
-// requestLedger is the reference: what an endpoint took and what clients were served, by the requests' ids.
+// requestLedger is the reference: how often an endpoint received each request, by its ID, and which rules were broken.
 type requestLedger struct {
 	mu         sync.Mutex
 	received   map[string]int
@@ -31,8 +29,8 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
-// behaviours are what an endpoint may do with a request; each ends the use of a connection but the first two.
-var behaviours = map[string]func(c *net.TCPConn, id string) (goesOn bool){
+// behaviors are what an endpoint may do with a request, by the path; each reports whether the connection goes on.
+var behaviors = map[string]func(c *net.TCPConn, id string) (goesOn bool){
 	"ok": func(c *net.TCPConn, id string) bool { io.WriteString(c, responseFor(id)); return true },
 	"twice": func(c *net.TCPConn, id string) bool {
 		io.WriteString(c, responseFor(id))
@@ -48,97 +46,145 @@
 	"never":   func(c *net.TCPConn, id string) bool { return true },
 }
 
+// drawnBehaviors are the behaviors in the frequencies in which they are drawn.
+var drawnBehaviors = []string{
+	"ok", "ok", "ok", "twice", "twice", "surplus", "close", "reset", "half", "noise", "never",
+}
+
 func responseFor(id string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 }
 
-// runRandomEvents has attempts, withdrawals, drops and pauses meet in an order drawn from a seed, and returns what
-// broke a rule: an attempt written twice, a client served with what was not made for it, one not written that is said
-// to have run or the other way round, a connection that nobody has.
-func runRandomEvents(t *testing.T, seed uint64, settle time.Duration) []string {
-	l := &requestLedger{received: map[string]int{}}
-	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
-		for {
-			req, err := scriptedpeer.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			id := req.Header.Get("X-Trace-Id")
-			l.mu.Lock()
-			l.received[id]++
-			l.mu.Unlock()
-			if !behaviours[req.URL.Path[1:]](c, id) {
-				return
-			}
+// serve is the endpoint's side of a connection.
+func (l *requestLedger) serve(c *net.TCPConn, r *bufio.Reader) {
+	for {
+		req, err := scriptedpeer.ReadRequest(r)
+		if err != nil {
+			return
 		}
+		id := req.Header.Get("X-Trace-Id")
+		l.mu.Lock()
+		l.received[id]++
+		l.mu.Unlock()
+		if !behaviors[req.URL.Path[1:]](c, id) {
+			return
+		}
+	}
+}
+
+// attempt makes one attempt, and reports what broke a rule: a response that was not made for it, a request written
+// twice, or one written whose status says that it never ran.
+func (l *requestLedger) attempt(ctx context.Context, u *Pool, to *Target, id, behavior string) {
+	r := u.Send(ctx, u.newAttempt(to), &Request{
+		Method: "GET",
+		URI:    "/" + behavior,
+		Host:   "origin.svc",
+		Header: http.Header{"X-Trace-Id": {id}},
+		Policy: &ResponsePolicy{MaxBuffered: 1 << 10, BufferSlowResponses: true, IdleTimeout: time.Second},
+	})
+	response, _ := r.Response.(*Response)
+	if r.Status == balancer.OK && string(response.Buffered) != id {
+		l.report("%s (%s) was served with %q", id, behavior, response.Buffered)
+	}
+	l.mu.Lock()
+	n := l.received[id]
+	l.mu.Unlock()
+	neverRan := r.Status == balancer.ConnectFailed || r.Status == balancer.NotSent
+	if n > 1 || neverRan && n > 0 {
+		l.report("%s (%s): status %v, received %d times", id, behavior, r.Status, n)
+	}
+}
+
+// randomEvents has attempts, withdrawals, drops and pauses meet in an order drawn from a seed.
+type randomEvents struct {
+	ledger   *requestLedger
+	pool     *Pool
+	addr     string
+	rng      *rand.Rand
+	target   *Target   // of the attempts
+	dropped  []*Target // the targets before it
+	attempts sync.WaitGroup
+}
+
+// runRandomEvents returns what broke a rule: those of requestLedger.attempt, and that no connection is left behind.
+func runRandomEvents(t *testing.T, seed uint64, reuseDelay time.Duration) []string {
+	t.Helper()
+	ledger := &requestLedger{received: map[string]int{}}
+	e := &randomEvents{
+		ledger: ledger,
+		addr:   scriptedpeer.StartTCP(t, ledger.serve),
+		rng:    rand.New(rand.NewPCG(seed, 37)),
+	}
+	e.pool = newPool(func(o *Options) {
+		o.ReuseDelay = reuseDelay
+		o.MaxConns = 6
 	})
-	names := []string{"ok", "ok", "ok", "twice", "twice", "surplus", "close", "reset", "half", "noise", "never"}
-	rng := rand.New(rand.NewPCG(seed, 37))
-	u := newPool(func(o *Options) { o.ReuseDelay, o.MaxConns = settle, 6 })
-	to := u.newTarget(addr)
-	var targets []*Target
-	var attempts sync.WaitGroup
+	e.target = e.pool.newTarget(e.addr)
 	for i := range 60 {
-		id, what := fmt.Sprintf("%d-%d", seed, i), names[rng.IntN(len(names))]
-		ctx, leave := context.WithCancel(context.Background())
-		if rng.IntN(3) == 0 || what == "never" {
-			time.AfterFunc(time.Duration(rng.IntN(3000))*time.Microsecond, leave)
-		}
-		at := to
-		attempts.Go(func() {
-			defer leave()
-			r := u.Send(ctx, &core.AttemptContext{Target: at, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
-				&Request{Method: "GET", URI: "/" + what, Host: "origin.svc", Header: http.Header{"X-Trace-Id": {id}},
-					Policy: &ResponsePolicy{MaxBuffered: 1 << 10, BufferSlowResponses: true, IdleTimeout: time.Second}})
-			if a, _ := r.Response.(*Response); r.Status == balancer.OK && string(a.Buffered) != id {
-				l.report("%s (%s) was served with %q", id, what, a.Buffered)
-			}
-			l.mu.Lock()
-			n := l.received[id]
-			l.mu.Unlock()
-			never := r.Status == balancer.ConnectFailed || r.Status == balancer.NotSent
-			if n > 1 || never && n > 0 {
-				l.report("%s (%s): status %v, taken %d times", id, what, r.Status, n)
-			}
-		})
-		switch rng.IntN(12) {
-		case 0:
-			to.Drop()
-			targets = append(targets, to)
-			to = u.newTarget(addr)
-		case 1:
-			u.SetKeepIdle(false)
-			u.SetKeepIdle(true)
-		case 2:
-			to.AttemptTimedOut(time.Now())
-		case 3:
-			u.sweep()
-		case 4, 5:
-			attempts.Wait()
-		}
+		e.startAttempt(fmt.Sprintf("%d-%d", seed, i))
+		e.interfere()
+	}
+	e.attempts.Wait()
+	e.checkConnections()
+	return ledger.violations
+}
+
+// startAttempt starts an attempt of a drawn behavior, and perhaps has its client leave at a drawn instant.
+func (e *randomEvents) startAttempt(id string) {
+	behavior := drawnBehaviors[e.rng.IntN(len(drawnBehaviors))]
+	ctx, leave := context.WithCancel(context.Background())
+	if e.rng.IntN(3) == 0 || behavior == "never" {
+		time.AfterFunc(time.Duration(e.rng.IntN(3000))*time.Microsecond, leave)
 	}
-	attempts.Wait()
+	to := e.target
+	e.attempts.Go(func() {
+		defer leave()
+		e.ledger.attempt(ctx, e.pool, to, id, behavior)
+	})
+}
+
+// interfere does one drawn thing beside the attempts.
+func (e *randomEvents) interfere() {
+	switch e.rng.IntN(12) {
+	case 0:
+		e.target.Drop()
+		e.dropped = append(e.dropped, e.target)
+		e.target = e.pool.newTarget(e.addr)
+	case 1:
+		e.pool.SetKeepIdle(false)
+		e.pool.SetKeepIdle(true)
+	case 2:
+		e.target.AttemptTimedOut(time.Now())
+	case 3:
+		e.pool.sweep()
+	case 4, 5:
+		e.attempts.Wait()
+	}
+}
+
+// checkConnections reports connections that are counted wrongly or belong to nobody. No attempt is in flight.
+func (e *randomEvents) checkConnections() {
+	u := e.pool
 	u.mu.Lock()
-	if rest := len(to.idle); u.openConns != rest || u.idleConns != rest {
-		l.violations = append(l.violations, fmt.Sprintf("%d connections open, %d counted at rest, %d there", u.openConns, u.idleConns, rest))
+	if idle := len(e.target.idle); u.openConns != idle || u.idleConns != idle {
+		e.ledger.report("%d connections open, %d counted as idle, %d idle", u.openConns, u.idleConns, idle)
 	}
 	u.mu.Unlock()
-	for _, to := range append(targets, to) {
+	for _, to := range append(e.dropped, e.target) {
 		to.Drop()
 	}
 	if u.openConns != 0 || len(u.idleTargets) != 0 {
-		l.violations = append(l.violations, fmt.Sprintf("%d connections left", u.openConns))
+		e.ledger.report("%d connections left", u.openConns)
 	}
-	return l.violations
 }
 
-// Whatever meets on connections to an endpoint, each attempt is written once at most, nobody is served with what was
-// made for another, what is said never to have run never did, and no connection is left. The same without the rest
-// after an answer is found out.
+// Whatever meets on connections to an endpoint, each attempt is written once at most, none is served with the response
+// to another, none that is said never to have run did, and no connection is left. The check finds connections that are
+// reused without a delay.
 func TestConnectionsUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(12) {
-		for _, wrong := range runRandomEvents(t, seed, DefaultReuseDelay) {
-			t.Errorf("seed %d: %s", seed, wrong)
+		for _, violation := range runRandomEvents(t, seed, DefaultReuseDelay) {
+			t.Errorf("seed %d: %s", seed, violation)
 		}
 	}
 	for seed := range uint64(12) {
@@ -146,5 +192,5 @@
 			return
 		}
 	}
-	t.Error("a planted fault, connections that do not rest, was not found")
+	t.Error("a planted fault, connections that are reused at once, was not found")
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,29 +25,30 @@
 const maxResponseHeadBytes = 64 << 10
 
 // Send makes one attempt (core.AttemptFunc, but for the request). The Response of its result is a *Response.
-func (p *Pool) Send(ctx context.Context, t *core.AttemptContext, q *Request) engine.AttemptResult {
-	c, left, status := p.acquire(ctx, t)
+func (p *Pool) Send(ctx context.Context, attempt *core.AttemptContext, request *Request) engine.AttemptResult {
+	c, leftMs, status := p.acquire(ctx, attempt)
 	if c == nil {
 		return p.result(status)
 	}
-	if q.Stream != nil && !q.Stream.Claim() {
-		p.releaseUnused(c, t)
+	stream := request.Stream
+	if stream != nil && !stream.Claim() {
+		p.releaseUnused(c, attempt)
 		return p.result(balancer.NotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	e := &exchange{pool: p, conn: c, request: q, attempt: t}
-	if q.Stream != nil && q.ResponseTimeout > 0 {
-		left = min(left, q.ResponseTimeout.Milliseconds())
+	e := &exchange{pool: p, conn: c, request: request, attempt: attempt}
+	if stream != nil && request.ResponseTimeout > 0 {
+		leftMs = min(leftMs, request.ResponseTimeout.Milliseconds())
 	}
-	r, keep := e.run(ctx, q.encode(left))
-	r.SentAt = max(e.sentAt.Load(), c.availableAt)
-	if q.Stream != nil {
-		q.Stream.finish(e)
-		keep = keep && q.Stream.Body.Done()
+	result, keep := e.run(ctx, request.encode(leftMs))
+	result.SentAt = max(e.sentAt.Load(), c.availableAt)
+	if stream != nil {
+		stream.finish(e)
+		keep = keep && stream.Body.Done()
 	}
-	c.SetReadDeadline(time.Time{}) // of a part that was waited for
-	p.release(c, t, stop() && keep && c.reader.Buffered() == 0)
-	return r
+	c.SetReadDeadline(time.Time{}) // that of the last wait for a part of the response
+	p.release(c, attempt, stop() && keep && c.reader.Buffered() == 0)
+	return result
 }
 
 // exchange is one attempt: a request written to a connection, and the response read from it.
@@ -192,39 +193,40 @@
 
 // writeBody forwards the streaming body as it arrives. It returns false if the client has not sent all of it.
 func (e *exchange) writeBody() bool {
-	s := e.request.Stream
+	stream := e.request.Stream
 	buf := streamBuffers.Get().(*[streamBufferSize]byte)
-	total := int64(0)
 	defer streamBuffers.Put(buf)
-	const headerSpace = 16 // for a chunk's head
+	total := int64(0)
+	const headerSpace = 16 // for a chunk's header
 	for {
-		s.BeforeRead()
-		if s.aborted.Load() {
+		stream.BeforeRead()
+		if stream.aborted.Load() {
 			return true
 		}
-		n, err := s.Body.Read(buf[headerSpace : streamBufferSize-2])
+		n, err := stream.Body.Read(buf[headerSpace : streamBufferSize-2])
 		total += int64(n)
-		if s.MaxBytes >= 0 && total > s.MaxBytes {
+		if stream.MaxBytes >= 0 && total > stream.MaxBytes {
 			n = 0
 			err = ErrRequestBodyTooLong
 		}
 		if n > 0 {
 			text := buf[headerSpace : headerSpace+n]
-			if s.Length < 0 {
+			if stream.Length < 0 {
 				head := http1msg.AppendChunkHeader(nil, n)
 				copy(buf[headerSpace-len(head):], head)
 				text = append(buf[headerSpace-len(head):headerSpace+n], '\r', '\n')
 			}
 			e.conn.SetWriteDeadline(time.Now().Add(e.request.Policy.IdleTimeout))
-			if _, failed := e.conn.Write(text); failed != nil {
-				return true // the endpoint may have answered, or what reads from it sees why not
+			if _, writeErr := e.conn.Write(text); writeErr != nil {
+				return true // the endpoint may have responded already; otherwise reading the response fails, too
 			}
 		}
 		switch {
 		case err == io.EOF:
-			if s.Length < 0 {
+			if stream.Length < 0 {
+				lastChunk := http1msg.AppendLastChunk(nil, stream.Body.Trailer())
 				e.conn.SetWriteDeadline(time.Now().Add(e.request.Policy.IdleTimeout))
-				if _, failed := e.conn.Write(http1msg.AppendLastChunk(nil, s.Body.Trailer())); failed != nil {
+				if _, writeErr := e.conn.Write(lastChunk); writeErr != nil {
 					return true
 				}
 			}
@@ -233,12 +235,12 @@
 			defer e.mu.Unlock()
 			e.conn.SetWriteDeadline(time.Time{})
 			e.sentAt.Store(e.pool.options.Clock.Now())
-			if wait := e.request.responseTimeout(); !e.responded && wait > 0 {
-				e.conn.SetReadDeadline(time.Now().Add(wait))
+			if timeout := e.request.responseTimeout(); !e.responded && timeout > 0 {
+				e.conn.SetReadDeadline(time.Now().Add(timeout))
 			}
 			return true
 		case err != nil:
-			s.err = err
+			stream.err = err
 			return false
 		}
 	}
@@ -247,28 +249,29 @@
 // readHead reads up to the head of the final response, and reports whether the endpoint closes the connection after
 // it.
 func (e *exchange) readHead() (*Response, bool, error) {
-	a := &Response{}
-	for len(a.Interim) <= maxInterimResponses {
+	response := &Response{}
+	for len(response.Interim) <= maxInterimResponses {
 		if _, err := e.conn.reader.Peek(1); err != nil {
 			return nil, false, err
 		}
-		g, err := e.conn.readHead()
+		head, err := e.conn.readHead()
 		if err != nil {
 			return nil, false, err
 		}
-		if g.statusCode == http.StatusSwitchingProtocols || !isValidHeader(g.Header) {
-			return nil, false, errMalformedResponse // an upgrade was not requested; a client could misread invalid fields
+		if head.statusCode == http.StatusSwitchingProtocols || !isValidHeader(head.Header) {
+			// An upgrade was not requested, and a client could misread invalid fields.
+			return nil, false, errMalformedResponse
 		}
-		if g.statusCode < 200 {
-			if g.statusCode != http.StatusContinue { // that is between this hop and the endpoint
-				a.Interim = append(a.Interim, InterimResponse{g.statusCode, g.Header})
+		if head.statusCode < 200 {
+			if head.statusCode != http.StatusContinue { // that is between this hop and the endpoint
+				response.Interim = append(response.Interim, InterimResponse{head.statusCode, head.Header})
 			}
 			continue
 		}
-		a.StatusCode = g.statusCode
-		a.Header = g.Header
-		a.Framing, err = http1msg.ResponseFraming(e.request.Method, g.statusCode, g.Header)
-		return a, g.closeAfter || a.Framing.Kind == http1msg.UntilClose, err
+		response.StatusCode = head.statusCode
+		response.Header = head.Header
+		response.Framing, err = http1msg.ResponseFraming(e.request.Method, head.statusCode, head.Header)
+		return response, head.closeAfter || response.Framing.Kind == http1msg.UntilClose, err
 	}
 	return nil, false, errResponseTooLarge
 }
@@ -290,41 +293,42 @@
 
 // bufferBody reads as much of a response as is buffered, and reports whether that is all. With waitForAll, a response
 // of known length is waited for until the time of the attempt ends.
-func (e *exchange) bufferBody(a *Response, body *http1msg.Body, waitForAll bool) (bool, error) {
+func (e *exchange) bufferBody(response *Response, body *http1msg.Body, waitForAll bool) (bool, error) {
 	if body.Done() {
 		return true, nil
 	}
-	rules := e.request.Policy
-	if a.Framing.Kind == http1msg.FixedLength && a.Framing.Length > rules.MaxBuffered {
+	fixedLength := response.Framing.Kind == http1msg.FixedLength
+	policy := e.request.Policy
+	if fixedLength && response.Framing.Length > policy.MaxBuffered {
 		return false, nil
 	}
 	size := int64(512)
-	if a.Framing.Kind == http1msg.FixedLength {
-		size = a.Framing.Length
+	if fixedLength {
+		size = response.Framing.Length
 	}
-	a.Buffered = make([]byte, 0, min(size, rules.MaxBuffered)+1)
-	until := time.Now().Add(bufferWindow)
-	for int64(len(a.Buffered)) <= rules.MaxBuffered {
-		if len(a.Buffered) == cap(a.Buffered) {
-			grown := make([]byte, len(a.Buffered), min(2*int64(cap(a.Buffered)), rules.MaxBuffered+1))
-			copy(grown, a.Buffered)
-			a.Buffered = grown
+	response.Buffered = make([]byte, 0, min(size, policy.MaxBuffered)+1)
+	deadline := time.Now().Add(bufferWindow)
+	for int64(len(response.Buffered)) <= policy.MaxBuffered {
+		if len(response.Buffered) == cap(response.Buffered) {
+			grown := make([]byte, len(response.Buffered), min(2*int64(cap(response.Buffered)), policy.MaxBuffered+1))
+			copy(grown, response.Buffered)
+			response.Buffered = grown
 		}
 		if body.Buffered() == 0 {
-			e.conn.SetReadDeadline(until)
+			e.conn.SetReadDeadline(deadline)
 		}
-		n, err := body.Read(a.Buffered[len(a.Buffered):cap(a.Buffered)])
-		a.Buffered = a.Buffered[:len(a.Buffered)+n]
+		n, err := body.Read(response.Buffered[len(response.Buffered):cap(response.Buffered)])
+		response.Buffered = response.Buffered[:len(response.Buffered)+n]
 		switch {
 		case err == io.EOF:
 			return true, nil
-		case isTimeout(err) && waitForAll && a.Framing.Kind == http1msg.FixedLength && len(a.Buffered) > 0:
+		case isTimeout(err) && waitForAll && fixedLength && len(response.Buffered) > 0:
 			e.attempt.ResponseProgress() // it is slow, but not silent
-			until = time.Time{}
-		case isTimeout(err) && waitForAll && a.Framing.Kind == http1msg.FixedLength:
+			deadline = time.Time{}
+		case isTimeout(err) && waitForAll && fixedLength:
 			// A head alone is not forwarded: the rest may never come, where a retry may still succeed. The time of
 			// the attempt bounds this.
-			until = time.Now().Add(bufferWindow)
+			deadline = time.Now().Add(bufferWindow)
 		case isTimeout(err):
 			return false, nil
 		case err != nil:
@@ -337,13 +341,13 @@
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // takeLoadReport returns the load report in a response, and removes it from the header.
-func (e *exchange) takeLoadReport(a *Response) (load []float32) {
+func (e *exchange) takeLoadReport(response *Response) (load []float32) {
 	const name = "Endpoint-Load-Metrics"
-	if text := a.Header[name]; len(text) > 0 {
+	if text := response.Header[name]; len(text) > 0 {
 		if e.pool.options.LoadInResponses {
 			load = parseLoad(e.pool.options.LoadFields, text[0])
 		}
-		delete(a.Header, name)
+		delete(response.Header, name)
 	}
 	return load
 }
--- a/internal/upstream/policy.go
+++ b/internal/upstream/policy.go
@@ -25,19 +25,19 @@
 }
 
 // classify returns the status of an attempt by its response.
-func (r *ResponsePolicy) classify(a *Response) balancer.Status {
-	code := min(a.StatusCode, len(r.FailureStatus)-1)
+func (p *ResponsePolicy) classify(response *Response) balancer.Status {
+	code := min(response.StatusCode, len(p.FailureStatus)-1)
 	unavailable := code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
-	never := unavailable && a.Header.Get("X-Never-Ran") == "1"
+	never := unavailable && response.Header.Get("X-Never-Ran") == "1"
 	switch {
 	case never:
 		return balancer.Rejected
-	case r.RejectedStatus[code] && a.Header.Get("Retry-After") != "":
-		if r.NonIdempotent {
+	case p.RejectedStatus[code] && response.Header.Get("Retry-After") != "":
+		if p.NonIdempotent {
 			return balancer.Error // by convention it did not run, but this is not guaranteed
 		}
 		return balancer.Rejected
-	case r.FailureStatus[code]:
+	case p.FailureStatus[code]:
 		return balancer.Error
 	}
 	return balancer.OK
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -154,7 +154,8 @@
 		}
 		c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
 		p.mu.Lock()
-		gone, usable := to.dropped, p.isUsable(c)
+		gone := to.dropped
+		usable := p.isUsable(c)
 		if gone || !usable {
 			p.closeLocked(c)
 		}
@@ -188,7 +189,7 @@
 		err = errEndpointGone
 	case len(to.idle) > 0:
 		c, wait = p.takeDelayedLocked(to)
-	case p.openConns >= p.options.MaxConns && !p.evictOldestLocked(): // descriptors must not run out: one idle elsewhere makes room
+	case p.openConns >= p.options.MaxConns && !p.evictOldestLocked(): // an idle one of another target is evicted
 		err = errConnLimit
 	default:
 		p.openConns++
@@ -214,13 +215,13 @@
 
 // takeDelayedLocked removes the idle connection with the least left of its reuse delay, and returns both.
 func (p *Pool) takeDelayedLocked(to *Target) (*Conn, time.Duration) {
-	at := 0
+	earliest := 0
 	for i, c := range to.idle {
-		if c.lastResponse.Before(to.idle[at].lastResponse) {
-			at = i
+		if c.lastResponse.Before(to.idle[earliest].lastResponse) {
+			earliest = i
 		}
 	}
-	c := p.removeIdleLocked(to, at)
+	c := p.removeIdleLocked(to, earliest)
 	return c, max(time.Nanosecond, p.remainingReuseDelay(c))
 }
 
@@ -284,7 +285,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.idleSince.IsZero() {
-		c.idleSince = time.Now() // it has just come up
+		c.idleSince = time.Now() // it has just been opened
 	}
 	p.insertIdleLocked(c)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -43,8 +43,14 @@
 
 // newPool returns a pool with edits to its usual options.
 func newPool(edits ...func(*Options)) *Pool {
-	o := Options{Clock: clock.New(), Log: scriptedpeer.DiscardLog, DialTimeout: time.Second, KeepAlive: 15 * time.Second, MaxConns: 504,
-		LoadFields: []string{"busy_reqs", "served_ps", "cpu_share"}}
+	o := Options{
+		Clock:       clock.New(),
+		Log:         scriptedpeer.DiscardLog,
+		DialTimeout: time.Second,
+		KeepAlive:   15 * time.Second,
+		MaxConns:    504,
+		LoadFields:  []string{"busy_reqs", "served_ps", "cpu_share"},
+	}
 	for _, edit := range edits {
 		edit(&o)
 	}
@@ -53,11 +59,20 @@
 
 func (p *Pool) newTarget(addr string) *Target { return p.Target(addr).(*Target) }
 
+// newAttempt returns an attempt with a second of time, which may be sent.
+func (p *Pool) newAttempt(to core.Target) *core.AttemptContext {
+	return &core.AttemptContext{
+		Target:    to,
+		Deadline:  p.options.Clock.Now() + monotime.Second,
+		ClaimSend: func(monotime.Micros) bool { return true },
+	}
+}
+
 // sendOnce makes one attempt with a second of time.
 func (p *Pool) sendOnce(m *BufferedRequest, to core.Target) engine.AttemptResult {
 	ctx, cancel := context.WithTimeout(context.Background(), scriptedpeer.WaitTimeout)
 	defer cancel()
-	return p.SendBuffered(ctx, &core.AttemptContext{Target: to, Deadline: p.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, m)
+	return p.SendBuffered(ctx, p.newAttempt(to), m)
 }
 
 func idempotentPost(body string) *BufferedRequest {
@@ -69,6 +84,12 @@
 	return &BufferedRequest{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{"X-Trace-Id": {"1"}}}
 }
 
+// plainStreamedGet is plainGet for Send.
+func plainStreamedGet() *Request {
+	policy := &ResponsePolicy{MaxBuffered: 1 << 10}
+	return &Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Policy: policy}
+}
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // Each Send is at most one attempt on the wire, also for requests that an http.Transport would send again:
@@ -174,7 +195,8 @@
 		{"length unknown", "HTTP/1.1 200 OK\r\n\r\nok", balancer.Reset},
 		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", balancer.Reset},
 		{"nothing", "", balancer.Reset},
-		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balancer.Reset},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"2\r\nok\r\n0\r\n\r\n", balancer.Reset},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", balancer.Reset},
 		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok", balancer.Reset},
 		{"unknown encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok", balancer.Reset},
@@ -182,7 +204,8 @@
 		{"no status", "HTTP/1.1 OK\r\nContent-Length: 2\r\n\r\nok", balancer.Reset},
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
 		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*maxInterimResponses), balancer.Reset},
-		{"unreadable report", strings.Replace(okResponse, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
+		{"unreadable report",
+			strings.Replace(okResponse, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
 		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", siteconfig.MaxBodyBytes+1,
 			strings.Repeat("x", siteconfig.MaxBodyBytes+1)), balancer.Reset},
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseBytes), balancer.Reset},
@@ -218,9 +241,11 @@
 			io.WriteString(c, answer)
 			r.ReadByte()
 		})
-		u, begun := newPool(), time.Now()
-		if r := u.sendOnce(idempotentPost("x"), u.newTarget(addr)); r.Status != balancer.Reset || time.Since(begun) > 5*maxResponseStall {
-			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.Status, time.Since(begun))
+		u := newPool()
+		begun := time.Now()
+		r := u.sendOnce(idempotentPost("x"), u.newTarget(addr))
+		if took := time.Since(begun); r.Status != balancer.Reset || took > 5*maxResponseStall {
+			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.Status, took)
 		}
 		if u.openConns != 0 {
 			t.Errorf("%q: its connection is kept", answer)
@@ -260,8 +285,10 @@
 	for i := range 4 {
 		m := plainGet()
 		m.Header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.sendOnce(m, to); r.Status != balancer.OK || string(r.Response.(*BufferedResponse).Body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Response.(*BufferedResponse).Body)
+		r := u.sendOnce(m, to)
+		response, _ := r.Response.(*BufferedResponse)
+		if r.Status != balancer.OK || string(response.Body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, response %v", i, r.Status, response)
 		}
 	}
 }
@@ -288,7 +315,7 @@
 		t.Errorf("%d connections open, %d idle to what is gone, want 1 and 0", u.openConns, len(old.idle))
 	}
 	if r := u.sendOnce(plainGet(), old); r.Status != balancer.NotSent {
-		t.Errorf("status %v for what is gone, want Moot", r.Status)
+		t.Errorf("status %v for what is gone, want NotSent", r.Status)
 	}
 	late := u.newTarget(addr)
 	dial := u.options.Dial
@@ -297,7 +324,7 @@
 		return dial(ctx, network, addr)
 	}
 	if r := u.sendOnce(plainGet(), late); r.Status != balancer.NotSent || u.openConns != 1 {
-		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.Status, u.openConns)
+		t.Errorf("status %v for what went while dialled, want NotSent; %d connections", r.Status, u.openConns)
 	}
 }
 
@@ -307,7 +334,7 @@
 	to := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) }))
 	u.options.MaxConns = 0
 	if r := u.sendOnce(plainGet(), to); r.Status != balancer.NotSent {
-		t.Errorf("all connections in use: status %v, want Moot", r.Status)
+		t.Errorf("all connections in use: status %v, want NotSent", r.Status)
 	}
 	u.options.MaxConns = 1
 	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
@@ -315,7 +342,7 @@
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", e)}
 		}
 		if r := u.sendOnce(plainGet(), to); r.Status != balancer.NotSent {
-			t.Errorf("%v: status %v, want Moot", e, r.Status)
+			t.Errorf("%v: status %v, want NotSent", e, r.Status)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -323,9 +350,9 @@
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.SendBuffered(ctx, &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }}, plainGet())
+	r := u.SendBuffered(ctx, u.newAttempt(to), plainGet())
 	if r.Status != balancer.NotSent {
-		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
+		t.Errorf("a dial that we ended: status %v, want NotSent", r.Status)
 	}
 }
 
@@ -351,6 +378,7 @@
 
 // startAnsweringEndpoint is an endpoint that answers all that comes, and counts its connections.
 func startAnsweringEndpoint(t *testing.T, dials *atomic.Int32) string {
+	t.Helper()
 	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
@@ -412,7 +440,9 @@
 	u.sendOnce(plainGet(), to)
 	to.idle[0].idleSince = to.idle[0].idleSince.Add(-u.maxIdleTime * 3 / 4)
 	used := to.idle[0].idleSince
-	r := u.SendBuffered(context.Background(), &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return false }}, plainGet())
+	withdrawn := u.newAttempt(to)
+	withdrawn.ClaimSend = func(monotime.Micros) bool { return false }
+	r := u.SendBuffered(context.Background(), withdrawn, plainGet())
 	if r.Status != balancer.NotSent || len(to.idle) != 1 || !to.idle[0].idleSince.Equal(used) {
 		t.Fatalf("status %v; idle since %v, last used at %v", r.Status, to.idle[0].idleSince, used)
 	}
@@ -449,7 +479,7 @@
 	two := u.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) { scriptedpeer.ReadRequest(r) }))
 	u.options.MaxConns = 2
 	ctx := context.Background()
-	a, err := u.Get(ctx, one)
+	first, err := u.Get(ctx, one)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -459,7 +489,7 @@
 	if _, err := u.Get(ctx, two); err != errConnLimit {
 		t.Fatalf("third connection: error %v, want %v", err, errConnLimit)
 	}
-	u.Put(a)
+	u.Put(first)
 	if _, err := u.Get(ctx, two); err != nil {
 		t.Errorf("third connection with one idle: %v", err)
 	}
@@ -563,8 +593,7 @@
 			return r.Status, string(a.Body)
 		},
 		"whole": func(u *Pool, to core.Target) (balancer.Status, string) {
-			r := u.Send(context.Background(), &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
-				&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Policy: &ResponsePolicy{MaxBuffered: 1 << 10}})
+			r := u.Send(context.Background(), u.newAttempt(to), plainStreamedGet())
 			a, _ := r.Response.(*Response)
 			if a == nil {
 				return r.Status, ""
@@ -631,8 +660,7 @@
 		}
 	}))
 	send := func(ctx context.Context) engine.AttemptResult {
-		return u.Send(ctx, &core.AttemptContext{Target: to, Deadline: u.options.Clock.Now() + 1_000_000, ClaimSend: func(monotime.Micros) bool { return true }},
-			&Request{Method: "GET", URI: "/look", Host: "origin.svc", Header: http.Header{}, Policy: &ResponsePolicy{MaxBuffered: 1 << 10}})
+		return u.Send(ctx, u.newAttempt(to), plainStreamedGet())
 	}
 	for i := range 4 {
 		begun := time.Now()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -26,35 +26,35 @@
 }
 
 // responseTimeout is how long the response is waited for once a streaming body has been sent.
-func (q *Request) responseTimeout() time.Duration {
-	return cmp.Or(q.ResponseTimeout, q.Policy.ResponseTimeout)
+func (r *Request) responseTimeout() time.Duration {
+	return cmp.Or(r.ResponseTimeout, r.Policy.ResponseTimeout)
 }
 
 // encode returns the head and what is buffered of the body, which are written in one piece.
-func (q *Request) encode(leftMs int64) []byte {
-	m := BufferedRequest{Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body}
-	b := m.encodeHead(q.Policy.DeadlineHeader, leftMs)
-	s := q.Stream
+func (r *Request) encode(leftMs int64) []byte {
+	m := BufferedRequest{Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body}
+	b := m.encodeHead(r.Policy.DeadlineHeader, leftMs)
+	stream := r.Stream
 	switch {
-	case s != nil && s.Length >= 0:
-		b.WriteString("Content-Length: " + strconv.FormatInt(s.Length, 10) + "\r\n\r\n")
-		b.Write(q.Body)
-	case s != nil || len(q.Trailer) > 0:
+	case stream != nil && stream.Length >= 0:
+		b.WriteString("Content-Length: " + strconv.FormatInt(stream.Length, 10) + "\r\n\r\n")
+		b.Write(r.Body)
+	case stream != nil || len(r.Trailer) > 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		if len(q.Body) > 0 {
-			b.Write(http1msg.AppendChunkHeader(nil, len(q.Body)))
-			b.Write(q.Body)
+		if len(r.Body) > 0 {
+			b.Write(http1msg.AppendChunkHeader(nil, len(r.Body)))
+			b.Write(r.Body)
 			b.WriteString("\r\n")
 		}
-		if s == nil {
-			b.Write(http1msg.AppendLastChunk(nil, q.Trailer))
+		if stream == nil {
+			b.Write(http1msg.AppendLastChunk(nil, r.Trailer))
 		}
 	default:
-		if len(q.Body) > 0 || q.ExplicitLength {
-			b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
+		if len(r.Body) > 0 || r.ExplicitLength {
+			b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 		}
 		b.WriteString("\r\n")
-		b.Write(q.Body)
+		b.Write(r.Body)
 	}
 	return b.Bytes()
 }
