Wait of a clock's drift: once, in monotime, instead of in lease and in maintenance

Need: lease.ExtendForDrift and maintenance's withDrift were the same formula, and quota imported it from lease though it has nothing to do with leases. Change: the function moves to package monotime, unchanged, with a test; the three packages call it. One test function more.

--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -14,7 +14,7 @@
 // # Why two never hold it
 //
 //   - A voter's vote belongs to one candidate at a time, for Settings.Duration extended by what two clocks' rates may
-//     differ (ExtendForDrift), counted from when the vote is given.
+//     differ (monotime.ExtendForDrift), counted from when the vote is given.
 //   - A holder counts its lease from before it sent the requests, for Settings.Duration. So while a lease is valid by
 //     its holder's clock, all votes that won it are valid by their voters' clocks.
 //   - Two majorities share a voter, and that voter has one vote.
@@ -30,8 +30,6 @@
 package lease
 
 import (
-	"math"
-
 	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
@@ -57,12 +55,6 @@
 	return &setting.Error{Component: "lease", Key: key, Reason: reason}
 }
 
-// ExtendForDrift returns how long to wait by the local clock until d has passed by every clock whose rate is off by
-// drift at most.
-func ExtendForDrift(d monotime.Micros, drift float64) monotime.Micros {
-	return monotime.Micros(math.Ceil(float64(d) * (1 + drift) / (1 - drift)))
-}
-
 // MessageKind tells the messages of the protocol apart.
 type MessageKind uint8
 
--- a/internal/decide/lease/voter.go
+++ b/internal/decide/lease/voter.go
@@ -69,7 +69,9 @@
 }
 
 // voteDuration is for how long a vote is valid: no lease that it wins is valid for longer by any clock.
-func (s *Settings) voteDuration() monotime.Micros { return ExtendForDrift(s.Duration, s.MaxClockDrift) }
+func (s *Settings) voteDuration() monotime.Micros {
+	return monotime.ExtendForDrift(s.Duration, s.MaxClockDrift)
+}
 
 // randomDelay returns a short random time. Candidates that start rounds at once would keep each other from a majority.
 func (v *Voter) randomDelay() monotime.Micros { return 1 + v.rng.Int64N(max(1, v.settings.Duration/4)) }
--- a/internal/decide/maintenance/settings.go
+++ b/internal/decide/maintenance/settings.go
@@ -1,8 +1,6 @@
 package maintenance
 
 import (
-	"math"
-
 	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
@@ -53,5 +51,5 @@
 
 // withDrift returns how long to wait by the own clock for a duration to have passed by any other clock.
 func (s *Settings) withDrift(d monotime.Micros) monotime.Micros {
-	return monotime.Micros(math.Ceil(float64(d) * (1 + s.MaxClockDrift) / (1 - s.MaxClockDrift)))
+	return monotime.ExtendForDrift(d, s.MaxClockDrift)
 }
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -32,7 +32,6 @@
 package quota
 
 import (
-	"dunlinsail/internal/decide/lease"
 	"dunlinsail/internal/decide/setting"
 	"dunlinsail/internal/monotime"
 )
@@ -98,9 +97,9 @@
 }
 
 // window is the second within which a budget holds, extended so that a second has passed by any clock.
-func (s *Settings) window() monotime.Micros { return lease.ExtendForDrift(second, s.MaxClockDrift) }
+func (s *Settings) window() monotime.Micros { return monotime.ExtendForDrift(second, s.MaxClockDrift) }
 
 // leaseLifetime is for how long a lease that is granted now may be in force, by any clock.
 func (s *Settings) leaseLifetime() monotime.Micros {
-	return lease.ExtendForDrift(s.LeaseDuration, s.MaxClockDrift)
+	return monotime.ExtendForDrift(s.LeaseDuration, s.MaxClockDrift)
 }
--- /dev/null
+++ b/internal/monotime/drift_test.go
@@ -0,0 +1,28 @@
+package monotime
+
+import "testing"
+
+// The slowest other clock has shown d by then, and no duration is shortened by rounding.
+func TestExtendForDriftCoversTheSlowestClock(t *testing.T) {
+	for _, c := range []struct {
+		d     Micros
+		drift float64
+		want  Micros
+	}{
+		{0, 0.1, 0},
+		{Second, 0, Second},
+		{Second, 0.005, 1_010_051},
+		{2 * Second, 0.1, 2_444_445},
+		{1, 0.005, 2},
+	} {
+		got := ExtendForDrift(c.d, c.drift)
+		if got != c.want {
+			t.Errorf("%d with a drift of %v is %d, want %d", c.d, c.drift, got, c.want)
+		}
+		localRate := 1 + c.drift
+		otherRate := 1 - c.drift
+		if shown := float64(got) / localRate * otherRate; shown < float64(c.d)-1e-6 {
+			t.Errorf("%d with a drift of %v: the slowest other clock shows %v", c.d, c.drift, shown)
+		}
+	}
+}
