Names of coordination packages that a first reader guessed wrong

Need: from names and signatures alone, Aggregator.Aggregate looked like a pure query (it starts new sums), Local.Outcomes like all outcomes or the largest (it is those whose turn it is), Members like the members of the fleet (it counts those that have reported), Member.Leave like the end of an instance (it gives up the lease only), and quota.Settings.Check had another name than Validate of the other decision packages. Change: TakeAggregate, OutcomesToReport, Reporters (the stored and sent names stay in the tags), Validate. Member.resign and consensus.Node.isLeader are not exported, since nobody else calls them. Measured: go build, go vet, gofmt and go test of quota, observations, coordination, consensus, peers and engine: passed.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -31,14 +31,14 @@
 	readRetryAt  monotime.Micros // when the round under way is asked for again
 }
 
-// IsLeader reports whether this instance leads, as far as it knows: another may lead already.
-func (n *Node) IsLeader() bool {
+// isLeader reports whether this instance leads, as far as it knows: another may lead already.
+func (n *Node) isLeader() bool {
 	return n.rawNode != nil && n.rawNode.BasicStatus().RaftState == raft.StateLeader
 }
 
 // runLeader does what falls to the leader.
 func (n *Node) runLeader(now monotime.Micros) {
-	if !n.IsLeader() {
+	if !n.isLeader() {
 		n.term = nil
 		clear(n.proposers)
 		return
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -202,7 +202,7 @@
 		n.leader = leader
 	}
 	report := n.follower.NextReport(now, n.inFlight)
-	if n.IsLeader() {
+	if n.isLeader() {
 		n.toSelf = append(n.toSelf, Message{Report: &report})
 		return
 	}
--- a/internal/consensus/operators.go
+++ b/internal/consensus/operators.go
@@ -47,7 +47,7 @@
 	request.Number = number
 	m := Message{OperatorRequest: &request}
 	switch {
-	case n.IsLeader():
+	case n.isLeader():
 		n.toSelf = append(n.toSelf, m)
 		n.process(now)
 	case n.leader != "":
@@ -61,7 +61,7 @@
 // handleOperatorRequest handles an operator's request. A voter that does not lead answers with the name of the one
 // that does.
 func (n *Node) handleOperatorRequest(now monotime.Micros, from string, request OperatorRequest) {
-	if !n.IsLeader() || n.term == nil {
+	if !n.isLeader() || n.term == nil {
 		n.sendLeader(from)
 		return
 	}
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -19,7 +19,7 @@
 
 // handleReport handles an instance's report. A voter that does not lead answers with the name of the one that does.
 func (n *Node) handleReport(now monotime.Micros, from string, report maintenance.Report) {
-	if !n.IsLeader() {
+	if !n.isLeader() {
 		n.sendLeader(from)
 		return
 	}
--- a/internal/decide/coordination/golden_test.go
+++ b/internal/decide/coordination/golden_test.go
@@ -16,7 +16,7 @@
 		SinceLastGrant:    12_345,
 		LeaseRemaining:    1_500_000,
 		Budgets:           []BudgetStatus{{Budget: "tenant/one", Allowed: 20, Spent: 7}},
-		Members:           9,
+		Reporters:         9,
 		RecoveryRemaining: 3_000_000,
 		Leases: []quota.LeaseStatus{{
 			Lessee:        "instance-2",
--- a/internal/decide/coordination/member.go
+++ b/internal/decide/coordination/member.go
@@ -115,13 +115,13 @@
 // HandOver ends this process's part and returns the state for its successor.
 func (m *Member) HandOver(now monotime.Micros) *quota.State {
 	s := m.lessee.HandOver(now)
-	m.Leave(now)
+	m.resign(now)
 	return s
 }
 
-// Leave gives up the lease, if it is held, because the process is about to end: the others need not wait until it
+// resign gives up the lease, if it is held, because the process is about to end: the others need not wait until it
 // expires.
-func (m *Member) Leave(now monotime.Micros) {
+func (m *Member) resign(now monotime.Micros) {
 	if m.voter != nil {
 		m.voter.Resign(now)
 		m.queueLeaseMessages()
@@ -171,7 +171,7 @@
 // before. An aggregate that has expired becomes the zero value, which counts as a change once.
 func (m *Member) TakeAggregate(now monotime.Micros) (all observations.Aggregate, changed bool) {
 	lifetime := aggregateLifetime * m.settings.Quota.RequestInterval
-	if !m.receivedNew && m.received.Members > 0 && now-m.receivedAt > lifetime {
+	if !m.receivedNew && m.received.Reporters > 0 && now-m.receivedAt > lifetime {
 		m.received = observations.Aggregate{}
 		m.receivedNew = true
 	}
--- a/internal/decide/coordination/member_test.go
+++ b/internal/decide/coordination/member_test.go
@@ -159,7 +159,7 @@
 	f := startFleet(t, "a", "b", "c", "d")
 	f.run(convergenceTime)
 	first := f.allocator()
-	f.members[first].Leave(f.now)
+	f.members[first].resign(f.now)
 	f.collect(first)
 	f.run(3 * second / 4) // less than the lease's duration
 	if next := f.allocator(); next == "" || next == first {
@@ -219,7 +219,7 @@
 	f.run(convergenceTime)
 	d := f.members["d"]
 	all, changed := d.TakeAggregate(f.now)
-	if !changed || all.Members != len(f.names) {
+	if !changed || all.Reporters != len(f.names) {
 		t.Errorf("d has received %+v, changed %v", all, changed)
 	}
 	if _, changed := d.TakeAggregate(f.now); changed {
@@ -227,7 +227,7 @@
 	}
 	f.cut["d"] = true
 	f.run(2 * aggregateLifetime * d.settings.Quota.RequestInterval)
-	if all, changed := d.TakeAggregate(f.now); !changed || all.Members != 0 {
+	if all, changed := d.TakeAggregate(f.now); !changed || all.Reporters != 0 {
 		t.Errorf("%+v, changed %v, after the aggregate has expired", all, changed)
 	}
 	if _, changed := d.TakeAggregate(f.now); changed {
--- a/internal/decide/coordination/protocol.go
+++ b/internal/decide/coordination/protocol.go
@@ -151,7 +151,7 @@
 	if now-m.aggregatedAt < m.settings.Quota.RequestInterval/4 {
 		return m.ownAggregate
 	}
-	m.ownAggregate = m.aggregator.Aggregate(now)
+	m.ownAggregate = m.aggregator.TakeAggregate(now)
 	m.aggregatedAt = now
 	m.ownAggregate.Levels = slices.Clone(m.ownAggregate.Levels)
 	for i := range m.ownAggregate.Levels {
--- a/internal/decide/coordination/view.go
+++ b/internal/decide/coordination/view.go
@@ -13,7 +13,7 @@
 	SinceLastGrant    monotime.Micros     `json:"HeardAgo"` // since the allocator's latest lease was received
 	LeaseRemaining    monotime.Micros     `json:"Loan"`     // until the lease in force ends; 0 if there is none
 	Budgets           []BudgetStatus      `json:"Shares"`   // by name
-	Members           int                 `json:"Members"`  // instances whose observations the allocator has
+	Reporters         int                 `json:"Members"`  // instances whose observations the allocator has
 	RecoveryRemaining monotime.Micros     `json:"Learning"` // of the allocator: until it grants new units; 0 if it does
 	Leases            []quota.LeaseStatus `json:"Loans"`    // of the allocator
 }
@@ -32,7 +32,7 @@
 		Active:         m.Active(),
 		Allocator:      term.Holder,
 		SinceLastGrant: now - lastGrantAt,
-		Members:        m.received.Members,
+		Reporters:      m.received.Reporters,
 	}
 	if until, _, _, held := m.lessee.HeldLease(now); held {
 		v.LeaseRemaining = until - now
--- a/internal/decide/observations/aggregator.go
+++ b/internal/decide/observations/aggregator.go
@@ -73,8 +73,8 @@
 	return inRange(l.Level, 1) && inRange(l.Load, 1) && inRange(l.Requests, maxCount) && inRange(l.Failed, l.Requests)
 }
 
-// Aggregate returns what the members have reported by now, and starts new sums of requests.
-func (a *Aggregator) Aggregate(now monotime.Micros) Aggregate {
+// TakeAggregate returns what the members have reported by now, and starts new sums of requests.
+func (a *Aggregator) TakeAggregate(now monotime.Micros) Aggregate {
 	var names []string
 	for name, r := range a.reports {
 		if now-r.receivedAt > reportLifetime {
@@ -84,7 +84,7 @@
 		names = append(names, name)
 	}
 	slices.Sort(names) // sums of floating-point numbers depend on their order
-	return Aggregate{Members: len(names), Levels: a.levels(names), Suspects: a.suspects(names)}
+	return Aggregate{Reporters: len(names), Levels: a.levels(names), Suspects: a.suspects(names)}
 }
 
 // medianRequests returns the median of the requests that members have reported last for a set of endpoints; 0 if too
--- a/internal/decide/observations/local.go
+++ b/internal/decide/observations/local.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// Outcomes returns at most limit counts. Where there are more, those with failures come first and the others in
-// rotation from call to call.
-func (l *Local) Outcomes(now monotime.Micros, limit int) []OutcomeCount {
+// OutcomesToReport returns at most limit counts, for the next report. Where there are more, those with failures come
+// first and the others in rotation from call to call.
+func (l *Local) OutcomesToReport(now monotime.Micros, limit int) []OutcomeCount {
 	var all []OutcomeCount
 	for key, c := range l.counts {
 		c.decay(now)
--- a/internal/decide/observations/observations.go
+++ b/internal/decide/observations/observations.go
@@ -47,9 +47,9 @@
 type Aggregate struct {
 	// Levels has means of Level and Load, weighted by requests, and sums of Requests and Failed since the aggregate
 	// before.
-	Levels   []OverloadLevel `cbor:"Levels"`
-	Members  int             `cbor:"Members"`  // instances whose reports are in it
-	Suspects []Suspect       `cbor:"Suspects"` // the most suspected first
+	Levels    []OverloadLevel `cbor:"Levels"`
+	Reporters int             `cbor:"Members"`  // instances whose reports are in it
+	Suspects  []Suspect       `cbor:"Suspects"` // the most suspected first
 }
 
 // Suspect is an endpoint that fails much of a class of requests.
--- a/internal/decide/observations/observations_test.go
+++ b/internal/decide/observations/observations_test.go
@@ -15,7 +15,10 @@
 			succeeded := (k != 3 || i%4 == 0) && !(k == 5 && i == 9)
 			local.RecordOutcome(second, fmt.Sprint("e", k), 0, succeeded)
 		}
-		report := Observations{Levels: []OverloadLevel{{Level: 1, Requests: 1}}, Outcomes: local.Outcomes(second, 40)}
+		report := Observations{
+			Levels:   []OverloadLevel{{Level: 1, Requests: 1}},
+			Outcomes: local.OutcomesToReport(second, 40),
+		}
 		if i == 0 {
 			for j := range report.Outcomes {
 				report.Outcomes[j].Failed = 1e6 // it reports failures of all
@@ -27,14 +30,14 @@
 		Levels:   []OverloadLevel{{Level: math.NaN()}},
 		Outcomes: []OutcomeCount{{"e1", 0, 0, math.Inf(1)}, {"e2", 0, -5, 1}},
 	})
-	all := aggregator.Aggregate(second)
+	all := aggregator.TakeAggregate(second)
 	if len(all.Suspects) != 1 || all.Suspects[0].Endpoint != "e3" || all.Suspects[0].AvoidProbability < 0.4 {
 		t.Errorf("suspects %v", all.Suspects)
 	}
-	if len(all.Levels) != 1 || all.Levels[0].Level != 1 || all.Members != 51 {
-		t.Errorf("levels %v of %d", all.Levels, all.Members)
+	if len(all.Levels) != 1 || all.Levels[0].Level != 1 || all.Reporters != 51 {
+		t.Errorf("levels %v of %d", all.Levels, all.Reporters)
 	}
-	if all := aggregator.Aggregate(second + reportLifetime + 1); all.Members != 0 || len(all.Suspects) != 0 {
+	if all := aggregator.TakeAggregate(second + reportLifetime + 1); all.Reporters != 0 || len(all.Suspects) != 0 {
 		t.Errorf("old reports count: %v", all)
 	}
 }
@@ -48,11 +51,11 @@
 		})
 	}
 	aggregator.Receive(0, "loud", Observations{Levels: []OverloadLevel{{"p", 1, 1, 1e6, 0}}})
-	all := aggregator.Aggregate(0)
+	all := aggregator.TakeAggregate(0)
 	if p := all.Levels[0]; p.Level > 0.65 || p.Failed/p.Requests < 0.35 || all.Levels[1].Level != 0.25 {
 		t.Errorf("levels %v", all.Levels)
 	}
-	if p := aggregator.Aggregate(0).Levels[0]; p.Requests != 0 {
+	if p := aggregator.TakeAggregate(0).Levels[0]; p.Requests != 0 {
 		t.Errorf("%v is summed twice", p)
 	}
 }
@@ -65,7 +68,7 @@
 	}
 	reported := map[string]bool{}
 	for range 30 {
-		all := local.Outcomes(0, 10)
+		all := local.OutcomesToReport(0, 10)
 		if len(all) != 10 || all[0].Endpoint != "e50" {
 			t.Fatalf("%v", all)
 		}
--- a/internal/decide/quota/allocator.go
+++ b/internal/decide/quota/allocator.go
@@ -35,7 +35,7 @@
 
 // NewAllocator returns an allocator that is not started, or a *setting.Error.
 func NewAllocator(s Settings) (*Allocator, error) {
-	if err := s.Check(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	return &Allocator{
--- a/internal/decide/quota/lessee.go
+++ b/internal/decide/quota/lessee.go
@@ -48,7 +48,7 @@
 
 // NewLessee returns the lessee of a process that has just started, or a *setting.Error.
 func NewLessee(s Settings) (*Lessee, error) {
-	if err := s.Check(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	return &Lessee{settings: s, buckets: map[string]*bucket{}}, nil
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -62,8 +62,8 @@
 	return &setting.Error{Component: "loans", Key: key, Reason: reason}
 }
 
-// Check returns a *setting.Error if a setting is out of range.
-func (s *Settings) Check() error {
+// Validate returns a *setting.Error if a setting is out of range.
+func (s *Settings) Validate() error {
 	switch {
 	case s.MaxInstances < 1:
 		return invalidSetting("most", "must be at least 1")
--- a/internal/engine/coordination.go
+++ b/internal/engine/coordination.go
@@ -205,7 +205,7 @@
 		p.updateFleetShare(now)
 	}
 	if f.Scope.SuspectedEndpoints {
-		seen.Outcomes = f.localObservations.Outcomes(now, maxObservedCounts)
+		seen.Outcomes = f.localObservations.OutcomesToReport(now, maxObservedCounts)
 	}
 	return seen
 }
--- a/internal/peers/golden_test.go
+++ b/internal/peers/golden_test.go
@@ -42,8 +42,8 @@
 		Levels: []observations.OverloadLevel{
 			{EndpointSet: "pool", Level: 0.5, Load: 0.25, Requests: 1200, Failed: 130},
 		},
-		Members:  9,
-		Suspects: []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, AvoidProbability: 0.95}},
+		Reporters: 9,
+		Suspects:  []observations.Suspect{{Endpoint: "pool/s-1", Class: 2, AvoidProbability: 0.95}},
 	}
 	vote := func(kind lease.MessageKind) *lease.Message {
 		return &lease.Message{Kind: kind, Incarnation: term.Incarnation, Round: 17}
