--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"dunlinsail/internal/config"
-	"dunlinsail/internal/decide/work"
+	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/operators"
 	"dunlinsail/internal/settle"
 )
@@ -77,7 +77,7 @@
 	if c.ID == "" {
 		c.ID = "job-" + time.Now().UTC().Format("20060102-150405.000")
 	}
-	text, err := c.call(stop, "/work/say", work.Command{Ask: &work.Job{ID: c.ID, Machines: c.Machines, For: c.For.Microseconds(), Why: c.Why, By: c.By, Urgent: c.Urgent}})
+	text, err := c.call(stop, "/work/say", maintenance.Command{Ask: &maintenance.Job{ID: c.ID, Machines: c.Machines, For: c.For.Microseconds(), Why: c.Why, By: c.By, Urgent: c.Urgent}})
 	if err == nil {
 		fmt.Printf("%s: %s\n", c.ID, strings.TrimSpace(string(text)))
 	}
@@ -176,11 +176,11 @@
 
 // Run says that work is done.
 func (c *workDoneCmd) Run(stop context.Context) error {
-	return c.say(stop, work.Command{Done: &work.Done{Job: c.Job, Machine: c.Machine}})
+	return c.say(stop, maintenance.Command{Done: &maintenance.Done{Job: c.Job, Machine: c.Machine}})
 }
 
 // say says something, and prints the answer.
-func (f *atFlag) say(stop context.Context, order work.Command) error {
+func (f *atFlag) say(stop context.Context, order maintenance.Command) error {
 	text, err := f.call(stop, "/work/say", order)
 	if err == nil {
 		fmt.Println(strings.TrimSpace(string(text)))
@@ -195,7 +195,7 @@
 
 // Run takes a job back.
 func (c *workCancelCmd) Run(stop context.Context) error {
-	return c.say(stop, work.Command{Cancel: c.Job})
+	return c.say(stop, maintenance.Command{Cancel: c.Job})
 }
 
 type workHoldCmd struct {
@@ -205,7 +205,7 @@
 
 // Run holds.
 func (c *workHoldCmd) Run(stop context.Context) error {
-	return c.say(stop, work.Command{Hold: &work.Hold{Job: c.Job, On: true}})
+	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Job: c.Job, On: true}})
 }
 
 type workHoldOff struct {
@@ -215,7 +215,7 @@
 
 // Run ends a hold.
 func (c *workHoldOff) Run(stop context.Context) error {
-	return c.say(stop, work.Command{Hold: &work.Hold{Job: c.Job}})
+	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Job: c.Job}})
 }
 
 type workForgetCmd struct {
@@ -235,7 +235,7 @@
 	}
 	for _, i := range v.Silent {
 		if i.Name == c.Instance {
-			return c.say(stop, work.Command{Gone: &i})
+			return c.say(stop, maintenance.Command{Gone: &i})
 		}
 	}
 	return fmt.Errorf("%s is heard, or not known: it is not forgotten", c.Instance)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,11 +19,11 @@
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/quota"
 	"dunlinsail/internal/decide/route"
 	"dunlinsail/internal/decide/subset"
-	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/settle"
 	"dunlinsail/internal/site"
@@ -326,7 +326,7 @@
 	if !w.On {
 		return nil
 	}
-	return &settle.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: work.Settings{Most: w.Most, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
+	return &settle.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{Most: w.Most, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
 		Ahead: w.Ahead, Room: w.Room, Lease: w.Lease.Micros(), Quiet: w.Quiet.Micros(), Warm: c.Rules.WarmAfter.Micros(), Drift: c.Peers.Drift}}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,8 +16,8 @@
 	"dunlinsail/internal/decide/coordination"
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
+	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/decide/quota"
-	"dunlinsail/internal/decide/work"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/site"
 )
@@ -353,8 +353,8 @@
 }
 
 // Stand returns how machines stand, and how many attempts are open at each of some.
-func (x *Core) Stand(names []string) (f work.Facts, open map[string]int) {
-	f = ask(x, func(now balancer.Micros) work.Facts {
+func (x *Core) Stand(names []string) (f maintenance.Facts, open map[string]int) {
+	f = ask(x, func(now balancer.Micros) maintenance.Facts {
 		open = x.engine.Open(names)
 		return x.engine.Facts(now)
 	})
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"dunlinsail/internal/clock"
-	"dunlinsail/internal/decide/work"
+	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/settle"
 )
@@ -26,7 +26,7 @@
 	stop   context.CancelFunc
 	ended  chan struct{}
 
-	facts   work.Facts
+	facts   maintenance.Facts
 	factsAt clock.Micros64
 	peak    float64
 	peakAt  clock.Micros64
@@ -70,7 +70,7 @@
 	x.obeyed = engine.Orders{Wait: true}
 	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
 		x.obeyed = *o
-		node.Duty().Inherit(work.Order{Stop: o.Stop, Ahead: o.Ahead}, o.Until)
+		node.Duty().Inherit(maintenance.Order{Stop: o.Stop, Ahead: o.Ahead}, o.Until)
 	}
 	d.core.Order(x.obeyed)
 	var ctx context.Context
@@ -142,7 +142,7 @@
 	x.facts = f
 }
 
-func (x *settling) look() work.Facts { return x.facts }
+func (x *settling) look() maintenance.Facts { return x.facts }
 
 // after carries words, has the core obey, and hands answers to who waits for them.
 func (x *settling) after() {
@@ -217,11 +217,11 @@
 		}
 		return json.Marshal(r.View)
 	}
-	var order work.Command
+	var order maintenance.Command
 	if err := json.Unmarshal(body, &order); err != nil {
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
-	order = work.Command{Ask: order.Ask, Cancel: order.Cancel, Done: order.Done, Hold: order.Hold, Gone: order.Gone} // an operator says no more
+	order = maintenance.Command{Ask: order.Ask, Cancel: order.Cancel, Done: order.Done, Hold: order.Hold, Gone: order.Gone} // an operator says no more
 	r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Say(now, order) })
 	return []byte(r.Answer), err
 }
--- a/internal/decide/work/work.go
+++ b/internal/decide/maintenance/work.go
@@ -1,4 +1,4 @@
-// Package work decides which machines are taken out for work, in which order, and when nobody sends to one any more. State is the
+// Package maintenance decides which machines are taken out for work, in which order, and when nobody sends to one any more. State is the
 // order that a fleet's instances settle among themselves: it is built from a log of commands, which all that keep it apply alike.
 // Duty is what one instance has to obey of it, Watch what the one that leads knows of how far all instances do. All three are deterministic
 // state machines for one caller at a time: no I/O, no clock, no chance. They may not know how a log is agreed on, sockets or balancers.
@@ -9,7 +9,7 @@
 // there. So a machine is free once every instance has either said that it has stopped and has nothing open there, or has had no lease for
 // that while, by any clock. How many may be ahead is bounded: that is what an instance that is cut off can lose. An instance that starts sends
 // nothing before it has heard an order. docs/design/machines-out.md has the argument at length.
-package work
+package maintenance
 
 import (
 	"cmp"
--- a/internal/decide/work/work_test.go
+++ b/internal/decide/maintenance/work_test.go
@@ -1,4 +1,4 @@
-package work
+package maintenance
 
 import (
 	"encoding/json"
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"dunlinsail/balancer"
-	"dunlinsail/internal/decide/work"
+	"dunlinsail/internal/decide/maintenance"
 )
 
 // This file obeys the order in which machines go out for work (package decide/work).
@@ -95,7 +95,7 @@
 
 // Facts returns how machines stand, as this instance sees them: what each can do by its weight, and how much of that is in use by
 // what they report; without reports of how busy they are that is nothing.
-func (x *Engine) Facts(now Micros) (f work.Facts) {
+func (x *Engine) Facts(now Micros) (f maintenance.Facts) {
 	kinds := x.config.Site.Kinds
 	for _, p := range x.pools {
 		list := p.list
@@ -110,13 +110,13 @@
 			if !slices.Contains(kinds, kind) {
 				kind = ""
 			}
-			f.Machines = append(f.Machines, work.Machine{Name: name, Zone: m.Zone, Kind: kind, Cell: int(m.Cell), Share: float64(m.Weight), Well: well})
+			f.Machines = append(f.Machines, maintenance.Machine{Name: name, Zone: m.Zone, Kind: kind, Cell: int(m.Cell), Share: float64(m.Weight), Well: well})
 			if e != nil && well {
 				f.Use += float64(m.Weight) * e.util
 			}
 		}
 	}
-	slices.SortFunc(f.Machines, func(a, b work.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
+	slices.SortFunc(f.Machines, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	return f
 }
 
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -19,7 +19,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"dunlinsail/internal/decide/work"
+	"dunlinsail/internal/decide/maintenance"
 )
 
 // Micros is an instant or a duration in microseconds, by the own clock, which never runs backwards and does not stand still
@@ -32,7 +32,7 @@
 type Settings struct {
 	Self   string
 	Voters []string // names, an odd number of them
-	Work   work.Settings
+	Work   maintenance.Settings
 	Turn   Micros // of raft's clock: a leader is missed after ten to twenty
 }
 
@@ -53,20 +53,20 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Raft    []byte       `json:"Raft"`    // to a voter from a voter
-	Blank   bool         `json:"Blank"`   // a voter's: nothing was ever kept by it
-	Report  *work.Report `json:"Report"`  // to who leads, or to any voter
-	Told    *work.Told   `json:"Told"`    // its answer,
-	Leader  string       `json:"Leader"`  // or who leads, as far as is known
-	Command *Command     `json:"Command"` // of an operator, to who leads
-	Reply   *Reply       `json:"Reply"`   // its answer
+	Raft    []byte              `json:"Raft"`    // to a voter from a voter
+	Blank   bool                `json:"Blank"`   // a voter's: nothing was ever kept by it
+	Report  *maintenance.Report `json:"Report"`  // to who leads, or to any voter
+	Told    *maintenance.Told   `json:"Told"`    // its answer,
+	Leader  string              `json:"Leader"`  // or who leads, as far as is known
+	Command *Command            `json:"Command"` // of an operator, to who leads
+	Reply   *Reply              `json:"Reply"`   // its answer
 }
 
 // Command is what an operator says, with a number of its own.
 type Command struct {
-	Number uint64       `json:"Number"`
-	Look   bool         `json:"Look"` // at how all stands, in place of an order
-	Order  work.Command `json:"Order"`
+	Number uint64              `json:"Number"`
+	Look   bool                `json:"Look"` // at how all stands, in place of an order
+	Order  maintenance.Command `json:"Order"`
 }
 
 // Reply answers a Command.
@@ -85,24 +85,24 @@
 
 // View is the order as who leads has it, for people.
 type View struct {
-	Leader    string          `json:"Leader"`
-	Now       Micros          `json:"Now"`
-	Held      bool            `json:"Held"`
-	Jobs      []work.Job      `json:"Jobs"`
-	Items     []work.Item     `json:"Items"`
-	Instances []work.Instance `json:"Instances"`
-	Events    []work.Event    `json:"Events"`
-	Silent    []work.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
+	Leader    string                 `json:"Leader"`
+	Now       Micros                 `json:"Now"`
+	Held      bool                   `json:"Held"`
+	Jobs      []maintenance.Job      `json:"Jobs"`
+	Items     []maintenance.Item     `json:"Items"`
+	Instances []maintenance.Instance `json:"Instances"`
+	Events    []maintenance.Event    `json:"Events"`
+	Silent    []maintenance.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
 }
 
 // Node is one instance. Make one with New.
 type Node struct {
 	s      Settings
 	disk   Disk
-	duty   *work.Duty
+	duty   *maintenance.Duty
 	out    []Out
-	own    []Word            // to this instance itself
-	facts  func() work.Facts // as this instance sees them; nil sees nothing
+	own    []Word                   // to this instance itself
+	facts  func() maintenance.Facts // as this instance sees them; nil sees nothing
 	open   func(machine string) int
 	leader string // as far as is known
 	askAt  Micros
@@ -119,12 +119,12 @@
 	met     map[string]bool // voters that have said something of the log since
 	failed  error
 	applied uint64
-	state   *work.State
+	state   *maintenance.State
 	snapped uint64
 	told    uint64 // version that was logged last
 
 	// Of who leads.
-	watch   *work.Watch
+	watch   *maintenance.Watch
 	term    uint64 // in which watch began
 	base    Micros // the state's clock as it began,
 	baseAt  Micros // and when
@@ -143,7 +143,7 @@
 
 type question struct {
 	from   string
-	report work.Report
+	report maintenance.Report
 	number uint64 // of the read that it waits for
 }
 
@@ -154,8 +154,8 @@
 
 // entry is what the log has.
 type entry struct {
-	ID    uint64       `json:"ID"` // of the proposal
-	Order work.Command `json:"Order"`
+	ID    uint64              `json:"ID"` // of the proposal
+	Order maintenance.Command `json:"Order"`
 }
 
 const (
@@ -168,13 +168,13 @@
 // New returns an instance. disk is nil for one that is no voter. That a disk does not hold what can be gone on from is an error that is returned
 // beside the instance: it obeys and reports, and has no vote.
 func New(now Micros, s Settings, life uint64, disk Disk) (*Node, error) {
-	duty, err := work.NewDuty(s.Work, life)
+	duty, err := maintenance.NewDuty(s.Work, life)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{s: s, disk: disk, duty: duty, open: func(string) int { return 0 }, askAt: now, turnAt: now, blanks: map[string]bool{}, met: map[string]bool{}, pending: map[string]Micros{},
 		origins: map[uint64]origin{}, replies: map[uint64]Reply{}, numbers: life<<20 | 1}
-	if n.state, err = work.New(s.Work); err != nil {
+	if n.state, err = maintenance.New(s.Work); err != nil {
 		return nil, err
 	}
 	if at := slices.Index(s.Voters, s.Self); at >= 0 && disk != nil {
@@ -194,12 +194,12 @@
 }
 
 // Sees says what tells how machines stand, and what is open at one.
-func (n *Node) Sees(facts func() work.Facts, open func(machine string) int) {
+func (n *Node) Sees(facts func() maintenance.Facts, open func(machine string) int) {
 	n.facts, n.open = facts, open
 }
 
 // Duty is what this instance obeys.
-func (n *Node) Duty() *work.Duty { return n.duty }
+func (n *Node) Duty() *maintenance.Duty { return n.duty }
 
 // Failed returns why this voter keeps no log any more; nil is that it does, or is none.
 func (n *Node) Failed() error { return n.failed }
@@ -208,7 +208,7 @@
 func (n *Node) Leads() bool { return n.raw != nil && n.raw.BasicStatus().RaftState == raft.StateLeader }
 
 // State is the order as far as this voter has applied it.
-func (n *Node) State() *work.State { return n.state }
+func (n *Node) State() *maintenance.State { return n.state }
 
 // begin goes on from what was kept.
 func (n *Node) begin(k Kept) (err error) {
@@ -505,7 +505,7 @@
 	if len(s.GetData()) == 0 {
 		return nil
 	}
-	fresh, err := work.New(n.s.Work)
+	fresh, err := maintenance.New(n.s.Work)
 	if err != nil {
 		return err
 	}
@@ -549,7 +549,7 @@
 // clock is the state's, by who leads.
 func (n *Node) clock(now Micros) Micros { return max(n.state.Now, n.base+now-n.baseAt) }
 
-func (n *Node) propose(order work.Command, now Micros, o *origin) {
+func (n *Node) propose(order maintenance.Command, now Micros, o *origin) {
 	order.At = n.clock(now)
 	n.numbers++
 	text, err := json.Marshal(entry{n.numbers, order})
@@ -565,7 +565,7 @@
 }
 
 // once proposes what may be under way already, once in a while.
-func (n *Node) once(key string, now Micros, order work.Command) {
+func (n *Node) once(key string, now Micros, order maintenance.Command) {
 	if now < n.pending[key] {
 		return
 	}
@@ -585,27 +585,27 @@
 		if at, err := n.storage.Term(n.applied); err != nil || at != status.GetTerm() {
 			return // what was settled before it leads is not all applied
 		}
-		n.watch, n.term, n.base, n.baseAt = work.NewWatch(now, n.s.Work), status.GetTerm(), n.state.Now, now
+		n.watch, n.term, n.base, n.baseAt = maintenance.NewWatch(now, n.s.Work), status.GetTerm(), n.state.Now, now
 		n.reading, n.waiting = nil, nil
 		clear(n.pending)
 	}
 	var known, free []string
 	known, free, n.why = n.watch.Commands(now, n.state)
 	for _, name := range known {
-		n.once("known/"+name, now, work.Command{Known: []string{name}})
+		n.once("known/"+name, now, maintenance.Command{Known: []string{name}})
 	}
 	for _, name := range free {
-		n.once("free/"+name, now, work.Command{Free: []string{name}})
+		n.once("free/"+name, now, maintenance.Command{Free: []string{name}})
 	}
 	if n.facts != nil && now >= n.factsAt {
 		n.factsAt = now + factsEvery
 		if f := n.facts(); fmt.Sprint(f) != fmt.Sprint(n.state.Facts) {
-			n.once("facts", now, work.Command{Facts: &f})
+			n.once("facts", now, maintenance.Command{Facts: &f})
 		}
 	}
 	if now >= n.beatAt && len(n.state.Items) > 0 {
 		n.beatAt = now + beatEvery
-		n.propose(work.Command{}, now, nil) // time goes on
+		n.propose(maintenance.Command{}, now, nil) // time goes on
 	}
 	if len(n.reading) == 0 && len(n.waiting) > 0 {
 		n.reads++
@@ -629,7 +629,7 @@
 	for _, q := range questions {
 		if n.state.Instances[q.from] != q.report.Life {
 			// It is told nothing before all who may lead know that it is there.
-			n.once("join/"+q.from, now, work.Command{Join: &work.Instance{Name: q.from, Life: q.report.Life}})
+			n.once("join/"+q.from, now, maintenance.Command{Join: &maintenance.Instance{Name: q.from, Life: q.report.Life}})
 			continue
 		}
 		t := n.watch.Telling(now, q.from, q.report, order)
@@ -671,17 +671,17 @@
 		v.Items = append(v.Items, i)
 	}
 	for name, life := range x.Instances {
-		v.Instances = append(v.Instances, work.Instance{Name: name, Life: life})
+		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Life: life})
 	}
-	slices.SortFunc(v.Jobs, func(a, b work.Job) int { return int(a.At - b.At) })
-	slices.SortFunc(v.Items, func(a, b work.Item) int { return map[bool]int{true: -1, false: 1}[a.Machine < b.Machine] })
-	slices.SortFunc(v.Instances, func(a, b work.Instance) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
+	slices.SortFunc(v.Jobs, func(a, b maintenance.Job) int { return int(a.At - b.At) })
+	slices.SortFunc(v.Items, func(a, b maintenance.Item) int { return map[bool]int{true: -1, false: 1}[a.Machine < b.Machine] })
+	slices.SortFunc(v.Instances, func(a, b maintenance.Instance) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	return v
 }
 
 // Say says something for an operator, and returns the number by which Answer has the answer. Nobody may lead just then: whoever asks says it
 // again, and a job that is asked for twice is asked for once.
-func (n *Node) Say(now Micros, order work.Command) (number uint64) {
+func (n *Node) Say(now Micros, order maintenance.Command) (number uint64) {
 	return n.put(now, Command{Order: order})
 }
 
