--- a/cmd/dunlinsaild/work.go
+++ b/cmd/dunlinsaild/work.go
@@ -77,7 +77,7 @@
 	if c.ID == "" {
 		c.ID = "job-" + time.Now().UTC().Format("20060102-150405.000")
 	}
-	text, err := c.call(stop, "/work/say", maintenance.Command{Ask: &maintenance.Job{ID: c.ID, Machines: c.Machines, For: c.For.Microseconds(), Why: c.Why, By: c.By, Urgent: c.Urgent}})
+	text, err := c.call(stop, "/work/say", maintenance.Command{Request: &maintenance.Request{ID: c.ID, Machines: c.Machines, Duration: c.For.Microseconds(), Reason: c.Why, Requester: c.By, Urgent: c.Urgent}})
 	if err == nil {
 		fmt.Printf("%s: %s\n", c.ID, strings.TrimSpace(string(text)))
 	}
@@ -121,17 +121,17 @@
 		fmt.Fprintln(w, "MACHINE\tIS\tSINCE\tJOBS\tWAITS FOR")
 	}
 	for _, i := range v.Items {
-		waits := i.Waits
+		waits := i.WaitReason
 		switch {
 		case i.Overdue:
 			waits = "overdue: work done, or ask for longer"
-		case i.Wanted != "":
-			waits = "wanted back: " + i.Wanted
+		case i.RecallReason != "":
+			waits = "wanted back: " + i.RecallReason
 		}
-		fmt.Fprintf(w, "%s\t%v\t%v ago\t%s\t%s\n", i.Machine, i.Phase, micros(v.Now-i.Since).Round(time.Second), strings.Join(i.Jobs, " "), waits)
+		fmt.Fprintf(w, "%s\t%v\t%v ago\t%s\t%s\n", i.Name, i.Phase, micros(v.Now-i.Since).Round(time.Second), strings.Join(i.Requests, " "), waits)
 	}
 	for _, j := range v.Jobs {
-		fmt.Fprintf(w, "%s by %s: %s, for %v\n", j.ID, j.By, j.Why, micros(j.For))
+		fmt.Fprintf(w, "%s by %s: %s, for %v\n", j.ID, j.Requester, j.Reason, micros(j.Duration))
 	}
 	return w.Flush()
 }
@@ -153,12 +153,12 @@
 			fmt.Fprintln(os.Stderr, err)
 		}
 		for _, e := range v.Events {
-			if e.At > last {
-				fmt.Printf("%8.1f s  %s\n", float64(e.At)/1e6, e.What)
+			if e.Time > last {
+				fmt.Printf("%8.1f s  %s\n", float64(e.Time)/1e6, e.Text)
 			}
 		}
 		if n := len(v.Events); n > 0 {
-			last = v.Events[n-1].At
+			last = v.Events[n-1].Time
 		}
 		select {
 		case <-turn.C:
@@ -176,7 +176,7 @@
 
 // Run says that work is done.
 func (c *workDoneCmd) Run(stop context.Context) error {
-	return c.say(stop, maintenance.Command{Done: &maintenance.Done{Job: c.Job, Machine: c.Machine}})
+	return c.say(stop, maintenance.Command{Complete: &maintenance.Completion{Request: c.Job, Machine: c.Machine}})
 }
 
 // say says something, and prints the answer.
@@ -195,7 +195,7 @@
 
 // Run takes a job back.
 func (c *workCancelCmd) Run(stop context.Context) error {
-	return c.say(stop, maintenance.Command{Cancel: c.Job})
+	return c.say(stop, maintenance.Command{CancelRequest: c.Job})
 }
 
 type workHoldCmd struct {
@@ -205,7 +205,7 @@
 
 // Run holds.
 func (c *workHoldCmd) Run(stop context.Context) error {
-	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Job: c.Job, On: true}})
+	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Request: c.Job, On: true}})
 }
 
 type workHoldOff struct {
@@ -215,7 +215,7 @@
 
 // Run ends a hold.
 func (c *workHoldOff) Run(stop context.Context) error {
-	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Job: c.Job}})
+	return c.say(stop, maintenance.Command{Hold: &maintenance.Hold{Request: c.Job}})
 }
 
 type workForgetCmd struct {
@@ -235,7 +235,7 @@
 	}
 	for _, i := range v.Silent {
 		if i.Name == c.Instance {
-			return c.say(stop, maintenance.Command{Gone: &i})
+			return c.say(stop, maintenance.Command{Forget: &i})
 		}
 	}
 	return fmt.Errorf("%s is heard, or not known: it is not forgotten", c.Instance)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -326,8 +326,8 @@
 	if !w.On {
 		return nil
 	}
-	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{Most: w.Most, Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
-		Ahead: w.Ahead, Room: w.Room, Lease: w.Lease.Micros(), Quiet: w.Quiet.Micros(), Warm: c.Rules.WarmAfter.Micros(), Drift: c.Peers.Drift}}
+	return &consensus.Settings{Self: c.Name, Voters: c.Peers.Lenders, Turn: w.Lease.Micros() / 20, Work: maintenance.Settings{MaxOut: w.Most, MaxOutPerZone: w.Zone, MaxOutPerCell: w.Cell, MaxOutPerKind: w.Kind,
+		MaxAnnounced: w.Ahead, Headroom: w.Room, LeaseDuration: w.Lease.Micros(), InFlightGrace: w.Quiet.Micros(), Warmup: c.Rules.WarmAfter.Micros(), MaxClockDrift: c.Peers.Drift}}
 }
 
 // uses are what peers.lends may name.
--- a/internal/consensus/settle.go
+++ b/internal/consensus/settle.go
@@ -50,13 +50,13 @@
 
 // Word is what instances tell one another; one of its parts is set.
 type Word struct {
-	Raft    []byte              `json:"Raft"`    // to a voter from a voter
-	Blank   bool                `json:"Blank"`   // a voter's: nothing was ever kept by it
-	Report  *maintenance.Report `json:"Report"`  // to who leads, or to any voter
-	Told    *maintenance.Told   `json:"Told"`    // its answer,
-	Leader  string              `json:"Leader"`  // or who leads, as far as is known
-	Command *Command            `json:"Command"` // of an operator, to who leads
-	Reply   *Reply              `json:"Reply"`   // its answer
+	Raft    []byte                 `json:"Raft"`    // to a voter from a voter
+	Blank   bool                   `json:"Blank"`   // a voter's: nothing was ever kept by it
+	Report  *maintenance.Report    `json:"Report"`  // to who leads, or to any voter
+	Told    *maintenance.PlanGrant `json:"Told"`    // its answer,
+	Leader  string                 `json:"Leader"`  // or who leads, as far as is known
+	Command *Command               `json:"Command"` // of an operator, to who leads
+	Reply   *Reply                 `json:"Reply"`   // its answer
 }
 
 // Command is what an operator says, with a number of its own.
@@ -85,8 +85,8 @@
 	Leader    string                 `json:"Leader"`
 	Now       monotime.Micros        `json:"Now"`
 	Held      bool                   `json:"Held"`
-	Jobs      []maintenance.Job      `json:"Jobs"`
-	Items     []maintenance.Item     `json:"Items"`
+	Jobs      []maintenance.Request  `json:"Jobs"`
+	Items     []maintenance.Machine  `json:"Items"`
 	Instances []maintenance.Instance `json:"Instances"`
 	Events    []maintenance.Event    `json:"Events"`
 	Silent    []maintenance.Instance `json:"Silent"` // not heard for long: they keep machines from being known as ahead
@@ -96,10 +96,10 @@
 type Node struct {
 	s      Settings
 	disk   Disk
-	duty   *maintenance.Duty
+	duty   *maintenance.Follower
 	out    []Out
-	own    []Word                   // to this instance itself
-	facts  func() maintenance.Facts // as this instance sees them; nil sees nothing
+	own    []Word                         // to this instance itself
+	facts  func() maintenance.FleetStatus // as this instance sees them; nil sees nothing
 	open   func(machine string) int
 	leader string // as far as is known
 	askAt  monotime.Micros
@@ -121,7 +121,7 @@
 	told    uint64 // version that was logged last
 
 	// Of who leads.
-	watch   *maintenance.Watch
+	watch   *maintenance.Coordinator
 	term    uint64          // in which watch began
 	base    monotime.Micros // the state's clock as it began,
 	baseAt  monotime.Micros // and when
@@ -165,13 +165,13 @@
 // New returns an instance. disk is nil for one that is no voter. That a disk does not hold what can be gone on from is an error that is returned
 // beside the instance: it obeys and reports, and has no vote.
 func New(now monotime.Micros, s Settings, life uint64, disk Disk) (*Node, error) {
-	duty, err := maintenance.NewDuty(s.Work, life)
+	duty, err := maintenance.NewFollower(s.Work, life)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{s: s, disk: disk, duty: duty, open: func(string) int { return 0 }, askAt: now, turnAt: now, blanks: map[string]bool{}, met: map[string]bool{}, pending: map[string]monotime.Micros{},
 		origins: map[uint64]origin{}, replies: map[uint64]Reply{}, numbers: life<<20 | 1}
-	if n.state, err = maintenance.New(s.Work); err != nil {
+	if n.state, err = maintenance.NewState(s.Work); err != nil {
 		return nil, err
 	}
 	if at := slices.Index(s.Voters, s.Self); at >= 0 && disk != nil {
@@ -191,12 +191,12 @@
 }
 
 // Sees says what tells how machines stand, and what is open at one.
-func (n *Node) Sees(facts func() maintenance.Facts, open func(machine string) int) {
+func (n *Node) Sees(facts func() maintenance.FleetStatus, open func(machine string) int) {
 	n.facts, n.open = facts, open
 }
 
 // Duty is what this instance obeys.
-func (n *Node) Duty() *maintenance.Duty { return n.duty }
+func (n *Node) Duty() *maintenance.Follower { return n.duty }
 
 // Failed returns why this voter keeps no log any more; nil is that it does, or is none.
 func (n *Node) Failed() error { return n.failed }
@@ -332,14 +332,14 @@
 
 // report reports to who leads, or to all voters where that is not known.
 func (n *Node) report(now monotime.Micros) {
-	n.askAt = now + n.s.Work.Lease/4
+	n.askAt = now + n.s.Work.LeaseDuration/4
 	if n.asked++; n.asked > 3 {
 		n.leader = ""
 	}
 	if l := n.knows(); l != "" {
 		n.leader = l
 	}
-	r := n.duty.Report(now, n.open)
+	r := n.duty.NextReport(now, n.open)
 	if n.Leads() {
 		n.own = append(n.own, Word{Report: &r})
 		return
@@ -389,11 +389,11 @@
 			}
 			return
 		}
-		if n.watch != nil && n.watch.Hear(now, from, *w.Report) {
+		if n.watch != nil && n.watch.RecordReport(now, from, *w.Report) {
 			n.waiting = append(n.waiting, question{from: from, report: *w.Report})
 		}
 	case w.Told != nil:
-		n.duty.Hear(now, *w.Told)
+		n.duty.Apply(now, *w.Told)
 		n.leader, n.asked = from, 0
 	case w.Leader != "":
 		if n.leader != w.Leader {
@@ -502,14 +502,14 @@
 	if len(s.GetData()) == 0 {
 		return nil
 	}
-	fresh, err := maintenance.New(n.s.Work)
+	fresh, err := maintenance.NewState(n.s.Work)
 	if err != nil {
 		return err
 	}
 	if err := json.Unmarshal(s.GetData(), fresh); err != nil {
 		return fmt.Errorf("the order's snapshot: %w", err)
 	}
-	fresh.Restored(n.s.Work)
+	fresh.UseSettings(n.s.Work)
 	n.state = fresh
 	return nil
 }
@@ -549,7 +549,7 @@
 }
 
 func (n *Node) propose(order maintenance.Command, now monotime.Micros, o *origin) {
-	order.At = n.clock(now)
+	order.Time = n.clock(now)
 	n.numbers++
 	text, err := json.Marshal(entry{n.numbers, order})
 	if err != nil {
@@ -584,25 +584,25 @@
 		if at, err := n.storage.Term(n.applied); err != nil || at != status.GetTerm() {
 			return // what was settled before it leads is not all applied
 		}
-		n.watch, n.term, n.base, n.baseAt = maintenance.NewWatch(now, n.s.Work), status.GetTerm(), n.state.Now, now
+		n.watch, n.term, n.base, n.baseAt = maintenance.NewCoordinator(now, n.s.Work), status.GetTerm(), n.state.Now, now
 		n.reading, n.waiting = nil, nil
 		clear(n.pending)
 	}
 	var known, free []string
-	known, free, n.why = n.watch.Commands(now, n.state)
+	known, free, n.why = n.watch.Progress(now, n.state)
 	for _, name := range known {
-		n.once("known/"+name, now, maintenance.Command{Known: []string{name}})
+		n.once("known/"+name, now, maintenance.Command{Acknowledged: []string{name}})
 	}
 	for _, name := range free {
-		n.once("free/"+name, now, maintenance.Command{Free: []string{name}})
+		n.once("free/"+name, now, maintenance.Command{Drained: []string{name}})
 	}
 	if n.facts != nil && now >= n.factsAt {
 		n.factsAt = now + factsEvery
-		if f := n.facts(); fmt.Sprint(f) != fmt.Sprint(n.state.Facts) {
-			n.once("facts", now, maintenance.Command{Facts: &f})
+		if f := n.facts(); fmt.Sprint(f) != fmt.Sprint(n.state.Fleet) {
+			n.once("facts", now, maintenance.Command{FleetStatus: &f})
 		}
 	}
-	if now >= n.beatAt && len(n.state.Items) > 0 {
+	if now >= n.beatAt && len(n.state.Machines) > 0 {
 		n.beatAt = now + beatEvery
 		n.propose(maintenance.Command{}, now, nil) // time goes on
 	}
@@ -610,10 +610,10 @@
 		n.reads++
 		n.reading, n.waiting = n.waiting, nil
 		n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, n.reads))
-		n.pending["read"] = now + n.s.Work.Lease/8
+		n.pending["read"] = now + n.s.Work.LeaseDuration/8
 	} else if len(n.reading) > 0 && now >= n.pending["read"] {
 		n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, n.reads)) // words get lost
-		n.pending["read"] = now + n.s.Work.Lease/8
+		n.pending["read"] = now + n.s.Work.LeaseDuration/8
 	}
 }
 
@@ -624,14 +624,14 @@
 	}
 	questions := n.reading
 	n.reading = nil
-	order := n.state.Order()
+	order := n.state.Plan()
 	for _, q := range questions {
-		if n.state.Instances[q.from] != q.report.Life {
+		if n.state.Instances[q.from] != q.report.Incarnation {
 			// It is told nothing before all who may lead know that it is there.
-			n.once("join/"+q.from, now, maintenance.Command{Join: &maintenance.Instance{Name: q.from, Life: q.report.Life}})
+			n.once("join/"+q.from, now, maintenance.Command{Join: &maintenance.Instance{Name: q.from, Incarnation: q.report.Incarnation}})
 			continue
 		}
-		t := n.watch.Telling(now, q.from, q.report, order)
+		t := n.watch.Grant(now, q.from, q.report, order)
 		n.tell(now, q.from, Word{Told: &t})
 	}
 }
@@ -658,22 +658,22 @@
 
 func (n *Node) view(now monotime.Micros) *View {
 	x := n.state
-	v := &View{Leader: n.s.Self, Now: n.clock(now), Held: x.Held, Events: slices.Clone(x.Events), Silent: n.watch.Lost(now, x, silentAfter*n.s.Work.Lease)}
-	for _, j := range x.Jobs {
+	v := &View{Leader: n.s.Self, Now: n.clock(now), Held: x.OnHold, Events: slices.Clone(x.Events), Silent: n.watch.SilentInstances(now, x, silentAfter*n.s.Work.LeaseDuration)}
+	for _, j := range x.Requests {
 		v.Jobs = append(v.Jobs, *j)
 	}
-	for _, i := range x.Items {
+	for _, i := range x.Machines {
 		i := *i
-		if w := n.why[i.Machine]; w != "" {
-			i.Waits = w
+		if w := n.why[i.Name]; w != "" {
+			i.WaitReason = w
 		}
 		v.Items = append(v.Items, i)
 	}
 	for name, life := range x.Instances {
-		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Life: life})
+		v.Instances = append(v.Instances, maintenance.Instance{Name: name, Incarnation: life})
 	}
-	slices.SortFunc(v.Jobs, func(a, b maintenance.Job) int { return int(a.At - b.At) })
-	slices.SortFunc(v.Items, func(a, b maintenance.Item) int { return map[bool]int{true: -1, false: 1}[a.Machine < b.Machine] })
+	slices.SortFunc(v.Jobs, func(a, b maintenance.Request) int { return int(a.RequestedAt - b.RequestedAt) })
+	slices.SortFunc(v.Items, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	slices.SortFunc(v.Instances, func(a, b maintenance.Instance) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	return v
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -354,8 +354,8 @@
 }
 
 // Stand returns how machines stand, and how many attempts are open at each of some.
-func (x *Core) Stand(names []string) (f maintenance.Facts, open map[string]int) {
-	f = ask(x, func(now monotime.Micros) maintenance.Facts {
+func (x *Core) Stand(names []string) (f maintenance.FleetStatus, open map[string]int) {
+	f = ask(x, func(now monotime.Micros) maintenance.FleetStatus {
 		open = x.engine.Open(names)
 		return x.engine.Facts(now)
 	})
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -26,7 +26,7 @@
 	stop   context.CancelFunc
 	ended  chan struct{}
 
-	facts   maintenance.Facts
+	facts   maintenance.FleetStatus
 	factsAt clock.Micros64
 	peak    float64
 	peakAt  clock.Micros64
@@ -70,7 +70,7 @@
 	x.obeyed = engine.Orders{Wait: true}
 	if o := d.inherited; o != nil { // the process whose place this one takes has heard one
 		x.obeyed = *o
-		node.Duty().Inherit(maintenance.Order{Stop: o.Stop, Ahead: o.Ahead}, o.Until)
+		node.Duty().Inherit(maintenance.Plan{Excluded: o.Stop, Announced: o.Ahead}, o.Until)
 	}
 	d.core.Order(x.obeyed)
 	var ctx context.Context
@@ -127,22 +127,22 @@
 
 // stand looks at what is open at machines that are out or next in line, and once in a while at how all stand.
 func (x *settling) stand(now clock.Micros64) {
-	order, _, _ := x.node.Duty().Holds()
-	names := append(append([]string(nil), order.Stop...), order.Ahead...)
+	order, _, _ := x.node.Duty().CurrentPlan()
+	names := append(append([]string(nil), order.Excluded...), order.Announced...)
 	if len(names) == 0 && now < x.factsAt+lookEvery {
 		return
 	}
 	f, open := x.d.core.Stand(names)
 	x.open, x.factsAt = open, now
 	round := func(v float64) float64 { return math.Round(v*20) / 20 } // what hardly changes is not logged
-	if f.Use > x.peak || now >= x.peakAt+peakFor {
-		x.peak, x.peakAt = f.Use, now
+	if f.Usage > x.peak || now >= x.peakAt+peakFor {
+		x.peak, x.peakAt = f.Usage, now
 	}
-	f.Use, f.Peak = round(f.Use), round(x.peak)
+	f.Usage, f.PeakUsage = round(f.Usage), round(x.peak)
 	x.facts = f
 }
 
-func (x *settling) look() maintenance.Facts { return x.facts }
+func (x *settling) look() maintenance.FleetStatus { return x.facts }
 
 // after carries words, has the core obey, and hands answers to who waits for them.
 func (x *settling) after() {
@@ -152,8 +152,8 @@
 			p.TellSettle(o.To, o.Word)
 		}
 	}
-	order, until, end := x.node.Duty().Holds()
-	o := engine.Orders{Wait: !x.node.Duty().Heard(), Stop: order.Stop, Ahead: order.Ahead, Until: until, End: end}
+	order, until, end := x.node.Duty().CurrentPlan()
+	o := engine.Orders{Wait: !x.node.Duty().HasPlan(), Stop: order.Excluded, Ahead: order.Announced, Until: until, End: end}
 	if fmt.Sprint(o) != fmt.Sprint(x.obeyed) {
 		if fmt.Sprint(o.Stop) != fmt.Sprint(x.obeyed.Stop) {
 			x.d.log.Info("machines out for work", "out", o.Stop, "next in line", o.Ahead)
@@ -167,7 +167,7 @@
 			delete(x.waiting, number)
 		}
 	}
-	if x.node.Blank() && x.node.Duty().Heard() && !x.warned {
+	if x.node.Blank() && x.node.Duty().HasPlan() && !x.warned {
 		x.warned = true
 		x.d.log.Error("the others have a log of the order of machines out, and work.state here is empty: it was lost; this instance has no vote, it obeys")
 	}
@@ -221,7 +221,7 @@
 	if err := json.Unmarshal(body, &order); err != nil {
 		return nil, fmt.Errorf("the body makes no sense: %w", err)
 	}
-	order = maintenance.Command{Ask: order.Ask, Cancel: order.Cancel, Done: order.Done, Hold: order.Hold, Gone: order.Gone} // an operator says no more
+	order = maintenance.Command{Request: order.Request, CancelRequest: order.CancelRequest, Complete: order.Complete, Hold: order.Hold, Forget: order.Forget} // an operator says no more
 	r, err := x.say(ctx, func(now clock.Micros64) uint64 { return x.node.Say(now, order) })
 	return []byte(r.Answer), err
 }
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -96,7 +96,7 @@
 
 // Facts returns how machines stand, as this instance sees them: what each can do by its weight, and how much of that is in use by
 // what they report; without reports of how busy they are that is nothing.
-func (x *Engine) Facts(now monotime.Micros) (f maintenance.Facts) {
+func (x *Engine) Facts(now monotime.Micros) (f maintenance.FleetStatus) {
 	kinds := x.config.Site.Kinds
 	for _, p := range x.pools {
 		list := p.list
@@ -111,13 +111,13 @@
 			if !slices.Contains(kinds, kind) {
 				kind = ""
 			}
-			f.Machines = append(f.Machines, maintenance.Machine{Name: name, Zone: m.Zone, Kind: kind, Cell: int(m.Cell), Share: float64(m.Weight), Well: well})
+			f.Machines = append(f.Machines, maintenance.MachineStatus{Name: name, Zone: m.Zone, Kind: kind, Cell: int(m.Cell), Capacity: float64(m.Weight), Healthy: well})
 			if e != nil && well {
-				f.Use += float64(m.Weight) * e.util
+				f.Usage += float64(m.Weight) * e.util
 			}
 		}
 	}
-	slices.SortFunc(f.Machines, func(a, b maintenance.Machine) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
+	slices.SortFunc(f.Machines, func(a, b maintenance.MachineStatus) int { return map[bool]int{true: -1, false: 1}[a.Name < b.Name] })
 	return f
 }
 
