--- a/internal/experiment/processes/node.go
+++ b/internal/experiment/processes/node.go
@@ -301,7 +301,7 @@
 	e := f.e
 	f.way()
 	if f.silent(false) {
-		io.Copy(io.Discard, r.Body) // package http notices that its connection ends only once the body is read
+		_, _ = io.Copy(io.Discard, r.Body) // package http notices that its connection ends only once the body is read
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -361,7 +361,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	default:
-		io.WriteString(w, r.Header.Get("X-Trace-Id"))
+		_, _ = io.WriteString(w, r.Header.Get("X-Trace-Id")) // a client that has gone needs none
 	}
 }
 
@@ -414,5 +414,5 @@
 		<-ctx.Done()
 		panic(http.ErrAbortHandler)
 	}
-	io.WriteString(w, "TEXT "+strings.Join(parts, ", "))
+	_, _ = io.WriteString(w, "TEXT "+strings.Join(parts, ", ")) // a client that has gone needs none
 }
--- a/internal/experiment/processes/words.go
+++ b/internal/experiment/processes/words.go
@@ -88,13 +88,13 @@
 		}
 		more, twice := y.run.plan.Late(y.run.now(), y.from, [3]float64{rand.Float64(), rand.Float64(), rand.Float64()})
 		if more == 0 && !twice {
-			out.Write(b[:n]) // that nobody listens there is as if it were lost
+			_, _ = out.Write(b[:n]) // that nobody listens there is as if it were lost
 			continue
 		}
 		text := bytes.Clone(b[:n])
-		y.later(more, func() { out.Write(text) })
+		y.later(more, func() { _, _ = out.Write(text) })
 		if twice {
-			y.later(monotime.Micros(rand.Float64()*float64(more)), func() { out.Write(text) })
+			y.later(monotime.Micros(rand.Float64()*float64(more)), func() { _, _ = out.Write(text) })
 		}
 	}
 }
@@ -119,7 +119,7 @@
 	y.keep(c)
 	defer y.drop(c)
 	if !y.passes() {
-		io.Copy(io.Discard, c)
+		_, _ = io.Copy(io.Discard, c) // until its end
 		return
 	}
 	to, err := net.DialTimeout("tcp", y.at, time.Second)
--- a/internal/experiment/processes/work.go
+++ b/internal/experiment/processes/work.go
@@ -135,7 +135,7 @@
 			l.mu.Lock()
 			delete(l.working, n)
 			l.mu.Unlock()
-			r.call(ctx, turn, "/work/say", maintenance.Command{Complete: &maintenance.Completion{Request: "night", Machine: r.plan.Nodes[n].Name}})
+			_, _ = r.call(ctx, turn, "/work/say", maintenance.Command{Complete: &maintenance.Completion{Request: "night", Machine: r.plan.Nodes[n].Name}})
 			delete(since, n) // should the word be lost, its phase is seen again, and it is at work anew
 		}
 		time.Sleep(pollEvery)
--- a/internal/experiment/replay.go
+++ b/internal/experiment/replay.go
@@ -40,7 +40,7 @@
 				return err
 			}
 			defer f.Close()
-			io.WriteString(d, filepath.Base(path))
+			_, _ = io.WriteString(d, filepath.Base(path))
 			_, err = io.Copy(d, f)
 			return err
 		})
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"dunlinsail/internal/simulation/measure"
 )
@@ -27,7 +28,7 @@
 // OpenStore opens a store's file, or makes it. Another program that has it open is waited for, for a moment.
 func OpenStore(path string) (*Store, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another program has it open", path)
 	}
 	if err != nil {
@@ -38,7 +39,7 @@
 		return err
 	})
 	if err != nil {
-		db.Close()
+		_ = db.Close() // nothing was written
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return &Store{db}, nil
@@ -107,7 +108,7 @@
 	var key []byte
 	for _, part := range []string{"a", "b"} { // 128 bits: a store may hold very many
 		d.Reset()
-		io.WriteString(d, part+build)
+		_, _ = d.WriteString(part + build)
 		d.Write(text)
 		key = d.Sum(key)
 	}
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -138,7 +138,7 @@
 	held := in.held
 	in.held = nil
 	if !in.listed {
-		in.tell(in.run.truth.whole(in, balancer.ListFull))
+		in.tell(in.run.truth.whole(in))
 		in.settle()
 		return
 	}
@@ -175,8 +175,8 @@
 }
 
 // whole is the whole list for an instance.
-func (t *truth) whole(in *instance, kind balancer.ListKind) engine.EndpointUpdate {
-	told := engine.EndpointUpdate{Kind: kind, Generation: t.gen}
+func (t *truth) whole(in *instance) engine.EndpointUpdate {
+	told := engine.EndpointUpdate{Kind: balancer.ListFull, Generation: t.gen}
 	if mine := t.run.plan.Instances[in.n].Nodes; mine != nil {
 		for _, n := range mine {
 			if t.heard[n].State != balancer.Gone {
@@ -204,7 +204,7 @@
 		return
 	}
 	t := in.run.truth
-	x := &news{in: in, life: in.life, told: t.whole(in, balancer.ListFull)}
+	x := &news{in: in, life: in.life, told: t.whole(in)}
 	if t.silent {
 		x.told = engine.EndpointUpdate{Kind: balancer.ListFailed}
 	}
@@ -222,7 +222,7 @@
 	t.held = nil
 	for _, in := range t.run.instances { // those that began meanwhile know nothing
 		if !in.down && !in.listed {
-			t.send(&news{in: in, life: in.life, told: t.whole(in, balancer.ListFull)})
+			t.send(&news{in: in, life: in.life, told: t.whole(in)})
 		}
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -47,8 +47,9 @@
 	})
 }
 
-func (t *settingsText) flag(key string, def bool) bool {
-	return get(t, key, def, "true or false", strconv.ParseBool)
+// flag returns a flag's value; one that is absent is false.
+func (t *settingsText) flag(key string) bool {
+	return get(t, key, false, "true or false", strconv.ParseBool)
 }
 
 // word returns the meaning of a word; what an unlisted word means is an error.
@@ -127,11 +128,11 @@
 		Subscribe: word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
 		Tick:      t.whole("tick", 0),
 		Limits: balancer.Limits{
-			Cancel:        t.flag("limits.cancel", false),
-			Probes:        t.flag("limits.probes", false),
-			SecondCopies:  t.flag("limits.second-copies", false),
-			RetryAfter:    t.flag("limits.retry-after", false),
-			Tell:          t.flag("limits.may-tell", false),
+			Cancel:        t.flag("limits.cancel"),
+			Probes:        t.flag("limits.probes"),
+			SecondCopies:  t.flag("limits.second-copies"),
+			RetryAfter:    t.flag("limits.retry-after"),
+			Tell:          t.flag("limits.may-tell"),
 			MaxAttempts:   int(t.whole("limits.most-tries", 1)),
 			MaxOpen:       int(t.whole("limits.most-held", math.MaxInt32)),
 			MaxRetryAfter: t.whole("limits.max-retry-after", 0),
@@ -186,7 +187,7 @@
 			GiveUp:    t.whole(at+"give-up", 0),
 			Worth:     t.number(at+"credit", 1),
 			LateWorth: t.number(at+"late-value", 0),
-			Stream:    t.flag(at+"stream", false),
+			Stream:    t.flag(at + "stream"),
 		})
 	}
 	for i := range t.count("tenants", false) {
