--- a/cmd/dunlinlab/records.go
+++ b/cmd/dunlinlab/records.go
@@ -165,7 +165,7 @@
 	defer closer()
 	got, err := j.Play(ctx, option)
 	if err == nil {
-		fmt.Fprintf(w, "%d stories, %d tries\n", got.Stories, got.Costs.Tries)
+		fmt.Fprintf(w, "%d stories, %d tries\n", got.Operations, got.Costs.ClientRequests)
 	}
 	return err
 }
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -67,9 +67,9 @@
 		return err
 	}
 	all, err := json.MarshalIndent(struct {
-		Happenings []scenario.Happening `json:"Happenings"`
-		Result     *measure.Result      `json:"Result"`
-	}{plan.Happenings, f.Result}, "", "\t")
+		Happenings []scenario.PlannedEvent `json:"Happenings"`
+		Result     *measure.Result         `json:"Result"`
+	}{plan.PlannedEvents, f.Result}, "", "\t")
 	if err != nil {
 		return err
 	}
@@ -118,7 +118,7 @@
 	}
 	if c := &f.Result.Costs; f.Result.Figures["breaks"] > 0 {
 		parts = append(parts, fmt.Sprintf("(%d endpoints fell, %d sent to a drained one, %d took effect twice, %d not answered in time)",
-			c.Falls, c.Drained, c.Twice, c.LateAnswer))
+			c.Collapses, c.AttemptsAfterDrain, c.DuplicateEffects, c.LateResponses))
 	}
 	return strings.Join(parts, "  ")
 }
--- a/internal/experiment/report/charts.go
+++ b/internal/experiment/report/charts.go
@@ -216,7 +216,7 @@
 // loads draws how much each endpoint had to do.
 func loads(c *experiment.Comparison) (template.HTML, error) {
 	const most = 60 // more bars than this show nothing
-	nodes := c.RunsA[0].Nodes
+	nodes := c.RunsA[0].Endpoints
 	if len(nodes) == 0 || len(nodes) > most {
 		return "", nil
 	}
@@ -242,7 +242,7 @@
 		for _, i := range order {
 			var sum float64
 			for _, r := range s.runs {
-				sum += r.Nodes[i].Worked
+				sum += r.Endpoints[i].Utilization
 			}
 			v = append(v, sum/float64(len(s.runs)))
 		}
@@ -280,7 +280,7 @@
 			switch {
 			case r.Unit == "ms" && !slices.Contains([]string{"p999"}, r.Name):
 				times = append(times, r)
-			case r.Unit == "" && !r.Count:
+			case r.Unit == "" && !r.CountsViolations:
 				shares = append(shares, r)
 			}
 		}
@@ -297,12 +297,12 @@
 	if err := add("Service over time", "Worth served within the aim, of the worth asked for in each moment: the mean of all seeds, and the band in which nine of ten lie.", picture, err); err != nil {
 		return nil, err
 	}
-	picture, err = overTime(c, "a second", func(s *measure.Series) []float64 { return s.Asked }, 0)
+	picture, err = overTime(c, "a second", func(s *measure.Series) []float64 { return s.Offered }, 0)
 	if err := add("Stories begun a second", "What clients wanted. It is the same for both: they meet the same clients.", picture, err); err != nil {
 		return nil, err
 	}
 	picture, err = overTime(c, "a second", func(s *measure.Series) []float64 {
-		v := slices.Clone(s.Refused)
+		v := slices.Clone(s.Rejected)
 		for i := range v {
 			v[i] += s.Failed[i]
 		}
--- a/internal/experiment/report/report.go
+++ b/internal/experiment/report/report.go
@@ -142,12 +142,12 @@
 		s := c.Plan.Scenario
 		plan := s.Draw(c.Plan.First)
 		x := part{Name: s.Name, About: s.About, Length: s.Length.Duration.String(), Line: c.Line(), Seeds: len(c.Seeds), Instances: len(plan.Instances),
-			Nodes: len(plan.Nodes), Rate: plan.Rate}
+			Nodes: len(plan.Endpoints), Rate: plan.Rate}
 		if c.RunsB != nil && c.Rows[0].Verdict != experiment.CannotTell {
 			x.Verdict = c.Rows[0].Verdict.String()
 		}
 		for _, r := range c.Rows {
-			text := row{Name: r.Name, About: r.About, A: experiment.Number(r.Figure, r.A), Note: r.Note}
+			text := row{Name: r.Name, About: r.Description, A: experiment.Number(r.Figure, r.A), Note: r.Note}
 			if c.RunsB != nil {
 				text.B, text.Difference = experiment.Number(r.Figure, r.B), experiment.Signed(r.Figure, r.Difference)
 				if r.Verdict != experiment.CannotTell {
--- a/internal/experiment/scale.go
+++ b/internal/experiment/scale.go
@@ -73,7 +73,7 @@
 	if run.Result, state, err = j.ask(ctx, program, sc.Env...); err != nil {
 		return nil, fmt.Errorf("%d instances on %d endpoints: %w", z.Instances, z.Nodes, err)
 	}
-	run.Stories, run.Decisions = run.Result.Stories, run.Result.Costs.Decisions
+	run.Stories, run.Decisions = run.Result.Operations, run.Result.Costs.Decisions
 	run.Processor = state.UserTime() + state.SystemTime()
 	if usage, ok := state.SysUsage().(*syscall.Rusage); ok {
 		run.Memory = usage.Maxrss << 10 // getrusage(2): in KiB
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -63,7 +63,7 @@
 // cut says whether nothing comes through between an instance and an endpoint, towards the endpoint or back.
 func (r *run) cut(in *instance, e *endpoint, back bool) bool {
 	for _, i := range r.severs {
-		if r.plan.Happenings[i].Severs(r.now, in.n, e.n, back) {
+		if r.plan.PlannedEvents[i].Blocks(r.now, in.n, e.n, back) {
 			return true
 		}
 	}
