--- a/internal/experiment/processes/client.go
+++ b/internal/experiment/processes/client.go
@@ -24,7 +24,7 @@
 	simclient.Operation
 	class       *balancer.Class
 	weight      float64
-	within      bool            // it starts within the period that is measured
+	within      bool            // within its tenant's quota
 	serviceTime monotime.Micros // of its latest attempt that was executed
 	effects     map[int]int     // by the number of the client's request
 	arrivals    map[int]int     // attempts that reached an endpoint, by the number of the client's request
--- a/internal/experiment/processes/clock.go
+++ b/internal/experiment/processes/clock.go
@@ -9,13 +9,14 @@
 	"dunlinsail/internal/monotime"
 )
 
-// now is the instant of the run.
+// now returns the time since the run began, in microseconds.
 func (r *run) now() monotime.Micros { return time.Since(r.base).Microseconds() - r.offset.Load() }
 
-// coarse is how late a timer of Go's may ring where nothing else goes on: its poller counts in milliseconds.
+// timerGranularity is how late a timer of Go may fire on an idle machine: its network poller waits in milliseconds.
 const timerGranularity = 1200 * time.Microsecond
 
-// sleep waits until an instant, more exactly than time.Sleep: what this rig is late must not be taken for the daemon's.
+// sleepUntil sleeps until an instant, more exactly than time.Sleep: delays of the runner must not be measured as the
+// daemon's.
 func sleepUntil(until time.Time) {
 	if d := time.Until(until); d > timerGranularity {
 		time.Sleep(d - timerGranularity)
@@ -26,14 +27,14 @@
 	}
 }
 
-// time is when an instant of the run is.
+// wallTime returns the wall clock time of an instant of the run.
 func (r *run) wallTime(at monotime.Micros) time.Time {
 	return r.base.Add(time.Duration(at+r.offset.Load()) * time.Microsecond)
 }
 
-// at calls f at an instant, unless the run has ended by then.
-func (r *run) scheduleAt(ctx context.Context, beside *sync.WaitGroup, at monotime.Micros, f func()) {
-	beside.Go(func() {
+// scheduleAt calls f at an instant of the run, unless ctx ends before. The goroutine that waits is one of background.
+func (r *run) scheduleAt(ctx context.Context, background *sync.WaitGroup, at monotime.Micros, f func()) {
+	background.Go(func() {
 		timer := time.NewTimer(time.Until(r.wallTime(at)))
 		defer timer.Stop()
 		select {
--- a/internal/experiment/processes/daemonconfig.go
+++ b/internal/experiment/processes/daemonconfig.go
@@ -7,10 +7,11 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// news are the tables of a daemon's file that another version may not know.
+// alternateUnknownTables are the tables of a daemon's file that an alternate program may not know.
 var alternateUnknownTables = []string{"overload", "peers", "operators", "work"}
 
-// file is an instance's file: the settings', with what differs between instances and what is of this run.
+// daemonConfig returns an instance's configuration file: the settings, with the tables that differ between instances
+// or belong to this run.
 func (r *run) daemonConfig(in *instance) ([]byte, error) {
 	var doc map[string]any
 	if err := toml.Unmarshal(r.options.Settings, &doc); err != nil {
@@ -25,7 +26,10 @@
 	doc["discovery"] = map[string]any{"address": in.discovery.Addr, "mode": r.config.Discovery.Mode}
 	delete(doc, "takeover")
 	if r.hasUpgrades() {
-		doc["takeover"] = map[string]any{"socket": filepath.Join(r.workDir, fmt.Sprint("takeover-", in.index)), "drain_within": r.config.Takeover.DrainWithin.String()}
+		doc["takeover"] = map[string]any{
+			"socket":       filepath.Join(r.workDir, fmt.Sprint("takeover-", in.index)),
+			"drain_within": r.config.Takeover.DrainWithin.String(),
+		}
 	}
 	delete(doc, "record")
 	delete(doc, "others")
@@ -33,7 +37,9 @@
 	if fleet == nil {
 		fleet = map[string]any{}
 	}
-	fleet["instances"], fleet["position"], fleet["zone"] = len(r.plan.Instances)+r.misreporterCount(), in.index, r.plan.Fleet.Zones[r.plan.Instances[in.index].Zone]
+	fleet["instances"] = len(r.plan.Instances) + r.misreporterCount()
+	fleet["position"] = in.index
+	fleet["zone"] = r.plan.Fleet.Zones[r.plan.Instances[in.index].Zone]
 	doc["fleet"] = fleet
 	if table, ok := doc["peers"].(map[string]any); ok && len(r.peerAddrs) > 0 {
 		doc["peers"] = r.fillPeersTable(in, table)
@@ -49,6 +55,12 @@
 		}
 		table["spent"] = r.spentPath(in.index)
 	}
+	r.addClientTables(in, doc)
+	return toml.Marshal(doc)
+}
+
+// addClientTables adds a listener and a client for each client process, with the limits of the settings' first client.
+func (r *run) addClientTables(in *instance, doc map[string]any) {
 	bounds := map[string]any{}
 	if len(r.config.Clients) > 0 {
 		b := &r.config.Clients[0].ClientLimits
@@ -67,6 +79,6 @@
 		}
 		clients = append(clients, client)
 	}
-	doc["listener"], doc["client"] = listeners, clients
-	return toml.Marshal(doc)
+	doc["listener"] = listeners
+	doc["client"] = clients
 }
--- a/internal/experiment/processes/events.go
+++ b/internal/experiment/processes/events.go
@@ -22,7 +22,7 @@
 	restartDelay monotime.Micros = 1_000_000
 )
 
-// isPartitioned reports whether a partition separates two zones now.
+// isPartitioned reports whether a network partition separates two zones now.
 func (r *run) isPartitioned(a, b int) bool {
 	if a == b {
 		return false
--- a/internal/experiment/processes/front.go
+++ b/internal/experiment/processes/front.go
@@ -15,7 +15,7 @@
 	"dunlinsail/internal/simulation/simendpoint"
 )
 
-// front is where one instance finds the endpoint.
+// front is the address of an endpoint for one instance.
 type front struct {
 	endpoint *endpoint
 	instance int
@@ -25,7 +25,7 @@
 	done     chan struct{}
 }
 
-// silent says whether nothing comes through between an instance and the endpoint, towards the endpoint or back.
+// isSilenced reports whether the endpoint is unreachable for the instance; back says that the way of responses is meant.
 func (f *front) isSilenced(back bool) bool {
 	e := f.endpoint
 	e.mu.Lock()
@@ -40,7 +40,7 @@
 	return mute || e.run.isPartitioned(e.run.plan.Instances[f.instance].Zone, e.plan.Zone)
 }
 
-// way waits for as long as a message takes between an instance and the endpoint.
+// networkDelay sleeps for the network's latency between the instance and the endpoint.
 func (f *front) networkDelay() {
 	p := f.endpoint.run.plan
 	mean := p.Network.Between.Duration
@@ -52,7 +52,7 @@
 	sleepUntil(time.Now().Add(mean))
 }
 
-// ServeHTTP takes a request or a probe.
+// ServeHTTP serves a request or a health check.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := f.endpoint
 	f.networkDelay()
@@ -66,7 +66,7 @@
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return // it has not come whole, so it has not run
+		return // an incomplete request is not executed
 	}
 	job, err := e.run.parseJob(r)
 	if err != nil {
@@ -133,7 +133,7 @@
 	return verdict
 }
 
-// wait waits for a request's end at the endpoint.
+// awaitJob waits until a request has been executed, and aborts the response where its client or the endpoint has gone.
 func (f *front) awaitJob(ctx context.Context, j *job, w *pendingJob) simendpoint.Verdict {
 	select {
 	case x := <-w.ended:
@@ -160,7 +160,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// probe answers with a load report.
+// serveProbe answers a health check with a load report.
 func (f *front) serveProbe(ctx context.Context, w http.ResponseWriter) {
 	e := f.endpoint
 	e.run.updateCounts(func(c *counts) {
@@ -171,11 +171,18 @@
 	e.advance()
 	l := e.node.Probe(e.run.now(), e.run.reportRand)
 	e.mu.Unlock()
-	values := map[balancer.LoadMetric]float64{balancer.MetricInflight: l.Inflight, balancer.MetricQueueLength: l.Queue, balancer.MetricUtilization: l.Util,
-		balancer.MetricLatency: l.LatencyMS, balancer.MetricServedRate: l.Served, balancer.MetricErrorRate: l.Errors}
+	values := map[balancer.LoadMetric]float64{
+		balancer.MetricInflight:    l.Inflight,
+		balancer.MetricQueueLength: l.Queue,
+		balancer.MetricUtilization: l.Util,
+		balancer.MetricLatency:     l.LatencyMS,
+		balancer.MetricServedRate:  l.Served,
+		balancer.MetricErrorRate:   l.Errors,
+	}
 	var parts []string
 	for i, name := range e.run.reportFields() {
-		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(values[e.run.site.Settings.LoadMetrics[i]], 'f', 4, 64)))
+		value := values[e.run.site.Settings.LoadMetrics[i]]
+		parts = append(parts, fmt.Sprintf("%s=%s", name, strconv.FormatFloat(value, 'f', 4, 64)))
 	}
 	f.networkDelay()
 	if f.isSilenced(true) {
--- a/internal/experiment/processes/run.go
+++ b/internal/experiment/processes/run.go
@@ -1,8 +1,9 @@
-// Package processes plays a plan of the fleet's model on loopback, in real time: real daemons, endpoints behind sockets, a
-// discovery for each instance, and clients that ask by the plan's clock whether or not answers come, so that what waits is
-// measured from when it was wanted (no coordinated omission: Tene, "How NOT to measure latency", 2015). Endpoints and
-// clients are the same state machines as in the model (packages simendpoint and caller), and what it comes to is judged by the same
-// meter: where a real run and the model differ, the difference is the daemon's, its sockets' and its machine's.
+// Package processes plays a scenario's plan in real time on loopback: daemon or sidecar processes, endpoints behind
+// sockets, a discovery server for each instance, and open-loop clients that send requests at their planned instants
+// whether or not earlier ones have been answered, so that latency counts from the planned instant (no coordinated
+// omission: Tene, "How NOT to measure latency", 2015). Endpoints and clients are the state machines of the simulation
+// (packages simendpoint and simclient), and package measure computes the same figures for both: what differs between a
+// real run and a simulated one is due to the daemon, its sockets and the machine.
 package processes
 
 import (
@@ -27,20 +28,29 @@
 	"dunlinsail/internal/siteconfig"
 )
 
-// Options say what is played.
+// Options are what a run plays and by which programs.
 type Options struct {
 	Plan            *scenario.Plan
 	Settings        []byte // a daemon's file; its listeners, clients, discovery and fleet are filled in
 	Criteria        measure.Criteria
 	Daemon          string    // the program: dunlinsaild, or dunlinsail, the platform's sidecar
-	AlternateDaemon string    // another program that every other instance is, without what it may not know; "" is none
-	Log             io.Writer // of the daemons; nil is nowhere
+	AlternateDaemon string    // the program of every other instance, without settings that it may not know; "" is none
+	Log             io.Writer // receives what the daemons log; nil drops it
 }
 
-// counts are what endpoints count.
-type counts struct{ attempts, crossZone, dials, probes, collapses, duplicateEffects, clientDuplicateEffects, unanswered int64 }
+// counts are the events that are counted at endpoints and clients.
+type counts struct {
+	attempts               int64
+	crossZone              int64 // attempts from another zone
+	dials                  int64
+	probes                 int64
+	collapses              int64 // of endpoints under overload
+	duplicateEffects       int64 // of non-idempotent requests, by retries of an instance
+	clientDuplicateEffects int64 // the same, by retries of a client
+	unanswered             int64 // requests without a response in time
+}
 
-// run is one that is under way.
+// run is a run in progress.
 type run struct {
 	options        Options
 	plan           *scenario.Plan
@@ -48,18 +58,18 @@
 	clientBehavior simclient.Behavior
 	workDir        string
 	base           time.Time
-	offset         atomic.Int64 // microseconds from base to the run's beginning
-	criteriaClass  []int        // place among the judge's classes of each of the plan's
-	criteriaTenant []int
+	offset         atomic.Int64 // microseconds from base to the start of the run's clock
+	criteriaClass  []int        // of each of the plan's classes, its index in the criteria
+	criteriaTenant []int        // the same for tenants
 	config         *config.Config
 
 	endpoints   []*endpoint
 	instances   []*instance
-	peerAddrs   []string // addresses at which instances know one another; none where they do not
+	peerAddrs   []string // gossip addresses of the instances; none where they do not coordinate
 	relays      []*relay
 	maintenance *maintenanceRun
 	groups      map[int]*group
-	reportRand  *rand.Rand // guarded by each endpoint's lock only: any draw will do
+	reportRand  *rand.Rand // safe for concurrent use; the order of draws does not matter
 
 	mu               sync.Mutex
 	counts           counts
