Distrust an endpoint that has sent a second response, and reuse its connections late

What callers saw: a request answered 200 with the response to an earlier request (TestConnectionsUnderRandomEvents).

Cause: each connection was judged by itself, so that an endpoint that responds twice had a chance at every reuse: a second response that comes after the rest of 20 ms and after the next write passes for the response to that request.

No bytes were overlooked, and the endpoint shares the starved machine.

Change: an address that sent bytes that belong to no request (behind a response, or on an idle connection) is distrusted for 5 minutes. Its connections rest for 250 ms; a new one is opened rather than waiting. A connection is inspected once more if the process was paused between selection and write. surplus_responses counts what was detected; a log line names the address.

Why it works: the first second response that is seen, early or late, protects all later requests to that address.

The two new tests fail without the mend: 'status 0 on 2 connections, want 0 on 3', 'status 0 after 1 requests, want 4 after 1'. The entry stays listed.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -87,6 +87,7 @@
 	line := func(name string, v uint64) { fmt.Fprintf(&b, "%s=%d\n", name, v) }
 	line("registry_entries", uint64(f.ListedEndpoints))
 	line("out_of_rotation", uint64(f.AvoidedEndpoints))
+	line("surplus_responses", d.upstreams.SurplusResponses())
 	if f.OverloadControlled {
 		line("overload_level_percent", uint64(100*f.OverloadLevel+0.5))
 		line("overload_shed", f.ShedRequests)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -12,10 +12,11 @@
 func (s *sidecar) metrics(ctx context.Context) ([]byte, error) {
 	var classes []http1.OutcomeCounts
 	var open int
-	var relayed uint64
+	var relayed, surplus uint64
 	list, err := s.core.Statistics(ctx, func() {
 		classes, open = s.front.RequestStats()
 		relayed = s.pool.Forwarded()
+		surplus = s.pool.SurplusResponses()
 	})
 	if err != nil {
 		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
@@ -35,6 +36,7 @@
 	line("open_requests", uint64(open))
 	line("registry_entries", uint64(list.ListedEndpoints))
 	line("out_of_rotation", uint64(list.AvoidedEndpoints))
+	line("surplus_responses", surplus)
 	if list.OverloadControlled {
 		line("overload_level_percent", uint64(100*list.OverloadLevel+0.5))
 		line("overload_shed", list.ShedRequests)
--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -148,7 +148,7 @@
 	release func(keep bool)) engine.AttemptResult {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	c.readLimit.N = maxResponseBytes
-	n, err := c.Write(text)
+	n, err := c.write(text)
 	if err != nil {
 		stop()
 		release(false)
@@ -162,7 +162,7 @@
 	}
 	response, err := c.readResponse()
 	result := p.result(balancer.Reset)
-	release(stop() && err == nil && !response.closeAfter && c.reader.Buffered() == 0)
+	release(stop() && err == nil && !response.closeAfter && p.nothingFollows(c))
 	if err != nil {
 		return result
 	}
--- /dev/null
+++ b/internal/upstream/distrust_test.go
@@ -0,0 +1,114 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/monotime"
+)
+
+// Guards against a late second response that is served to the next request: an endpoint that has sent one is not sent a
+// request on a connection that was used shortly before, and the connection is usable again later.
+func TestSecondResponseMakesReuseLate(t *testing.T) {
+	var dials atomic.Int32
+	pool := newPool(func(o *Options) { o.DistrustedReuseDelay = time.Hour })
+	to := pool.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		first := dials.Add(1) == 1
+		for {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
+				return
+			}
+			response := okResponse
+			if first {
+				response += okResponse
+			}
+			io.WriteString(c, response)
+		}
+	}))
+	send := func(wantDials int32) {
+		t.Helper()
+		r := pool.Send(context.Background(), pool.newAttempt(to), plainStreamedGet())
+		if n := dials.Load(); r.Status != balancer.OK || n != wantDials {
+			t.Fatalf("status %v on %d connections, want %v on %d", r.Status, n, balancer.OK, wantDials)
+		}
+	}
+	send(1)
+	if n := pool.SurplusResponses(); n != 1 {
+		t.Errorf("%d surplus responses counted, want 1", n)
+	}
+	send(2)
+	send(3)
+	for _, c := range to.idle {
+		c.lastResponse = c.lastResponse.Add(-time.Hour)
+	}
+	send(3)
+	pool.distrusted[to.addr].until = time.Now()
+	send(3)
+	if pool.expireDistrust(); len(pool.distrusted) != 0 {
+		t.Error("the address is still distrusted after its time")
+	}
+}
+
+// Guards against a second response that arrives while this process is paused between the inspection of a connection and
+// the write: the request is not written, so that it can be sent again.
+func TestSecondResponseBeforeTheWrite(t *testing.T) {
+	var received atomic.Int32
+	respondAgain := make(chan struct{})
+	respondedAgain := make(chan struct{})
+	pool := newPool()
+	to := pool.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
+				return
+			}
+			received.Add(1)
+			io.WriteString(c, okResponse)
+			<-respondAgain
+			io.WriteString(c, okResponse)
+			close(respondedAgain)
+		}
+	}))
+	if r := pool.Send(context.Background(), pool.newAttempt(to), plainStreamedGet()); r.Status != balancer.OK {
+		t.Fatalf("first request: status %v", r.Status)
+	}
+	paused := pool.newAttempt(to)
+	paused.ClaimSend = func(monotime.Micros) bool {
+		close(respondAgain)
+		<-respondedAgain
+		time.Sleep(2 * maxInspectionAge) // the pause
+		return true
+	}
+	r := pool.Send(context.Background(), paused, plainStreamedGet())
+	if n := received.Load(); r.Status != balancer.ConnectFailed || n != 1 {
+		t.Errorf("status %v after %d requests, want %v after 1", r.Status, n, balancer.ConnectFailed)
+	}
+}
+
+// BenchmarkConnectionsOpened reports the connections that are opened for requests to an endpoint that responds once.
+func BenchmarkConnectionsOpened(b *testing.B) {
+	var dials atomic.Int32
+	addr := scriptedpeer.StartTCP(b, func(c *net.TCPConn, r *bufio.Reader) {
+		dials.Add(1)
+		for {
+			if _, err := scriptedpeer.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, okResponse)
+		}
+	})
+	pool := newPool(func(o *Options) { o.ReuseDelay = time.Microsecond })
+	to := pool.newTarget(addr)
+	for b.Loop() {
+		if r := pool.Send(context.Background(), pool.newAttempt(to), plainStreamedGet()); r.Status != balancer.OK {
+			b.Fatal(r.Status)
+		}
+	}
+	b.ReportMetric(float64(dials.Load())/float64(b.N), "conns/op")
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,10 +49,19 @@
 		keep = keep && stream.Body.Done()
 	}
 	c.SetReadDeadline(time.Time{}) // that of the last wait for a part of the response
-	p.release(c, attempt, stop() && keep && c.reader.Buffered() == 0)
+	p.release(c, attempt, stop() && keep && p.nothingFollows(c))
 	return result
 }
 
+// nothingFollows reports whether nothing was read after the response that ends an exchange.
+func (p *Pool) nothingFollows(c *Conn) bool {
+	if c.reader.Buffered() == 0 {
+		return true
+	}
+	p.noteSurplus(c.target.addr)
+	return false
+}
+
 // exchange is one attempt: a request written to a connection, and the response read from it.
 type exchange struct {
 	pool        *Pool
@@ -118,7 +127,7 @@
 	stream := e.request.Stream
 	e.conn.readLimit.N = maxResponseHeadBytes
 	e.conn.SetDeadline(time.Time{})
-	n, err := e.conn.Write(text)
+	n, err := e.conn.write(text)
 	switch {
 	case err != nil && n < len(text) && stream == nil:
 		return balancer.ConnectFailed // its last byte was not written, so it never ran
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,14 +34,17 @@
 
 // Options configure a Pool.
 type Options struct {
-	Clock           clock.Clock
-	Log             *slog.Logger
-	DialTimeout     time.Duration // 0 means probeTimeout
-	KeepAlive       time.Duration // after which an endpoint closes an idle connection
-	MaxConns        int           // connections open or being opened
-	ReuseDelay      time.Duration // before a connection is used again (DefaultReuseDelay); 0 is none
-	LoadFields      []string      // fields of a load report, in the order of their values
-	LoadInResponses bool          // load reports are also read from responses
+	Clock       clock.Clock
+	Log         *slog.Logger
+	DialTimeout time.Duration // 0 means probeTimeout
+	KeepAlive   time.Duration // after which an endpoint closes an idle connection
+	MaxConns    int           // connections open or being opened
+	ReuseDelay  time.Duration // before a connection is used again (DefaultReuseDelay); 0 is none
+	// DistrustedReuseDelay is the reuse delay of an address that has sent bytes that belong to no request. 0 means
+	// DefaultDistrustedReuseDelay if there is a ReuseDelay, and none otherwise.
+	DistrustedReuseDelay time.Duration
+	LoadFields           []string // fields of a load report, in the order of their values
+	LoadInResponses      bool     // load reports are also read from responses
 
 	// Dial opens a connection; nil is that of package net.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -61,6 +64,9 @@
 	lastShortageLog time.Time            // when a shortage of connections was last logged
 	discardIdle     bool                 // idle connections are closed
 
+	distrusted       map[string]*distrust // addresses that sent bytes that belong to no request
+	surplusResponses uint64               // how often that was detected
+
 	idleLimits map[string]float64 // idle connections allowed, by owner; empty is no bound
 	maxIdle    int                // the sum of idleLimits; 0 is no bound
 	idleConns  int                // idle at present
@@ -71,10 +77,18 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = probeTimeout
 	}
+	if o.ReuseDelay > 0 && o.DistrustedReuseDelay <= 0 {
+		o.DistrustedReuseDelay = DefaultDistrustedReuseDelay
+	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
 	}
-	return &Pool{options: o, maxIdleTime: o.maxIdleTime(), idleTargets: map[*Target]struct{}{}}
+	return &Pool{
+		options:     o,
+		maxIdleTime: o.maxIdleTime(),
+		idleTargets: map[*Target]struct{}{},
+		distrusted:  map[string]*distrust{},
+	}
 }
 
 // maxIdleTime returns how long a connection may be idle: two thirds of the time after which the endpoint closes it,
@@ -108,6 +122,7 @@
 	target    *Target
 	idleSince time.Time // since when it is idle
 
+	inspectedAt  time.Time       // when it was last seen to be quiet (inspect); zero: never
 	lastResponse time.Time       // after which a second response may follow; zero: there was none
 	availableAt  monotime.Micros // when its reuse delay ended, if an attempt waited for that; else 0
 }
@@ -290,7 +305,7 @@
 	defer p.mu.Unlock()
 	for to := range p.idleTargets {
 		for i := len(to.idle) - 1; i >= 0; i-- {
-			if !p.isUsable(to.idle[i]) {
+			if !p.isUsableLocked(to.idle[i]) {
 				p.closeLocked(p.removeIdleLocked(to, i))
 			}
 		}
@@ -316,6 +331,7 @@
 		select {
 		case <-tick.C:
 			p.sweep()
+			p.expireDistrust()
 		case <-ctx.Done():
 			p.SetKeepIdle(false)
 			return
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 )
 
@@ -11,11 +9,12 @@
 
 // DefaultReuseDelay is how long a connection is not used after a response. An endpoint may send a second response some
 // milliseconds after the first, which would pass for the response to the next request. If it arrives within the delay,
-// the connection is closed. One that arrives later is only detected if the next request has not been written yet.
+// the connection is closed, and its address is distrusted. One that arrives later is only detected if the next request
+// has not been written yet.
 const DefaultReuseDelay = 20 * time.Millisecond
 
 // Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
-// the first to get past it, once it has, since a new one costs more; else a new one.
+// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
@@ -31,7 +30,7 @@
 		c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
 		p.mu.Lock()
 		gone := to.dropped
-		usable := p.isUsable(c)
+		usable := p.isUsableLocked(c)
 		if gone || !usable {
 			p.closeLocked(c)
 		}
@@ -66,7 +65,8 @@
 	if c := p.takeUsableLocked(to, ignoreDelay); c != nil {
 		return c, 0, nil
 	}
-	if len(to.idle) > 0 {
+	// A distrusted address has a long delay, which is not waited for.
+	if len(to.idle) > 0 && !p.isDistrustedLocked(to.addr) {
 		c, wait := p.takeDelayedLocked(to)
 		return c, wait, nil
 	}
@@ -80,12 +80,14 @@
 // takeUsableLocked removes and returns the idle connection used last of those past their reuse delay, nil if there is
 // none. It closes those that it finds expired.
 func (p *Pool) takeUsableLocked(to *Target, ignoreDelay bool) *Conn {
+	delay := p.reuseDelayLocked(to.addr)
+	now := time.Now()
 	for i := len(to.idle) - 1; i >= 0; i-- {
-		if !ignoreDelay && p.remainingReuseDelay(to.idle[i]) > 0 {
+		if !ignoreDelay && delay > 0 && now.Sub(to.idle[i].lastResponse) < delay {
 			continue
 		}
 		c := p.removeIdleLocked(to, i)
-		if p.isUsable(c) {
+		if p.isUsableLocked(c) {
 			c.availableAt = 0
 			return c
 		}
@@ -120,37 +122,18 @@
 		}
 	}
 	c := p.removeIdleLocked(to, earliest)
-	return c, max(time.Nanosecond, p.remainingReuseDelay(c))
+	return c, max(time.Nanosecond, p.reuseDelayLocked(to.addr)-time.Since(c.lastResponse))
 }
 
-// remainingReuseDelay returns what is left of the reuse delay of a connection.
-func (p *Pool) remainingReuseDelay(c *Conn) time.Duration {
-	if p.options.ReuseDelay <= 0 {
-		return 0
-	}
-	return p.options.ReuseDelay - time.Since(c.lastResponse)
-}
-
-// isUsable reports whether an idle connection has neither expired nor been closed, or written to, by its endpoint.
-func (p *Pool) isUsable(c *Conn) bool { return time.Since(c.idleSince) < p.maxIdleTime && c.isAlive() }
-
-// isAlive reports, without waiting, whether the endpoint has neither closed an idle connection nor sent anything on
-// it. A request written to another connection would be lost and might have run.
-func (c *Conn) isAlive() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+// isUsableLocked reports whether an idle connection has neither expired nor been closed, or written to, by its
+// endpoint. A request written to another connection would be lost and might have run, or receive another request's response.
+func (p *Pool) isUsableLocked(c *Conn) bool {
+	if time.Since(c.idleSince) >= p.maxIdleTime {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+	state := c.inspect()
+	if state == connSurplus {
+		p.noteSurplusLocked(c.target.addr)
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return state == connQuiet
 }
