Daemon: prefer connections to endpoints that have rested over the one used last

What callers could see: in the daemon, which had no reuse delay, a second response within microseconds to milliseconds passed for the response to the next request; the same fault as in the sidecar, where connections rest for 20 ms.

Cause: the daemon set no ReuseDelay, since waiting for it would cost latency, and the pool took the connection used last.

Change: Options.ReuseDelayOptional: an attempt takes a connection past its delay, else the one that has rested for longest; it neither waits nor opens a connection. A delay also makes the distrust of addresses that respond twice hold in the daemon.

--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -61,13 +61,15 @@
 	}
 	d.clock = clk
 	d.upstreams = upstream.New(upstream.Options{
-		Clock:           clk,
-		Log:             o.Log,
-		MaxConns:        c.Connections.MaxEndpoints,
-		DialTimeout:     c.Attempts.DialTimeout.Duration,
-		KeepAlive:       c.Site.KeepAlive,
-		LoadFields:      c.Site.LoadReportFields,
-		LoadInResponses: c.Site.ReportsOnResponses,
+		Clock:              clk,
+		Log:                o.Log,
+		MaxConns:           c.Connections.MaxEndpoints,
+		DialTimeout:        c.Attempts.DialTimeout.Duration,
+		KeepAlive:          c.Site.KeepAlive,
+		ReuseDelay:         upstream.DefaultReuseDelay,
+		ReuseDelayOptional: true, // a host's clients would wait for it at their usual rates
+		LoadFields:         c.Site.LoadReportFields,
+		LoadInResponses:    c.Site.ReportsOnResponses,
 	})
 	if err := d.newCore(); err != nil {
 		return nil, err
--- a/internal/upstream/distrust_test.go
+++ b/internal/upstream/distrust_test.go
@@ -91,6 +91,32 @@
 	}
 }
 
+// Guards against a connection that is used right after a response while one rests that is past its delay, or that has
+// rested for longer: a second response is more likely on it. Nothing is waited for, and no connection is opened.
+func TestOptionalReuseDelay(t *testing.T) {
+	pool := newPool(func(o *Options) {
+		o.ReuseDelay = time.Hour
+		o.ReuseDelayOptional = true
+	})
+	to := pool.newTarget(scriptedpeer.StartTCP(t, readOneRequest))
+	rested := pool.mustGet(t, to)
+	usedLast := pool.mustGet(t, to)
+	pool.Put(rested)
+	pool.Put(usedLast)
+	if pool.mustGet(t, to) != rested {
+		t.Error("of two within their delay, the one used last was used again")
+	}
+	pool.Put(rested)
+	usedLast.lastResponse = usedLast.lastResponse.Add(-time.Hour)
+	rested.lastResponse = rested.lastResponse.Add(-time.Minute)
+	if pool.mustGet(t, to) != usedLast {
+		t.Error("one within its delay was used before one past it")
+	}
+	if pool.mustGet(t, to) != rested || pool.openConns != 2 {
+		t.Errorf("the other one was not used at once; %d connections open", pool.openConns)
+	}
+}
+
 // BenchmarkConnectionsOpened reports the connections that are opened for requests to an endpoint that responds once.
 func BenchmarkConnectionsOpened(b *testing.B) {
 	var dials atomic.Int32
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,6 +40,9 @@
 	KeepAlive   time.Duration // after which an endpoint closes an idle connection
 	MaxConns    int           // connections open or being opened
 	ReuseDelay  time.Duration // before a connection is used again (DefaultReuseDelay); 0 is none
+	// ReuseDelayOptional has an attempt that finds only connections within their ReuseDelay use the one that has rested
+	// for longest, instead of waiting.
+	ReuseDelayOptional bool
 	// DistrustedReuseDelay is the reuse delay of an address that has sent bytes that belong to no request. 0 means
 	// DefaultDistrustedReuseDelay if there is a ReuseDelay, and none otherwise.
 	DistrustedReuseDelay time.Duration
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -14,7 +14,8 @@
 const DefaultReuseDelay = 20 * time.Millisecond
 
 // Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
-// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one.
+// the first to get past it, once it has or, with Options.ReuseDelayOptional, at once, since a new one costs more; else,
+// and for a distrusted address, a new one.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
@@ -66,9 +67,16 @@
 		return c, 0, nil
 	}
 	// A distrusted address has a long delay, which is not waited for.
-	if len(to.idle) > 0 && !p.isDistrustedLocked(to.addr) {
+	for len(to.idle) > 0 && !p.isDistrustedLocked(to.addr) {
 		c, wait := p.takeDelayedLocked(to)
-		return c, wait, nil
+		if !p.options.ReuseDelayOptional {
+			return c, wait, nil
+		}
+		if p.isUsableLocked(c) {
+			c.availableAt = 0
+			return c, 0, nil
+		}
+		p.closeLocked(c)
 	}
 	if p.openConns >= p.options.MaxConns && !p.evictOldestLocked() { // an idle one of another target is evicted
 		return nil, 0, errConnLimit
