Apply a version of the configuration only once its attempt is on disk

What callers saw: a version under which processes end was applied by a third process in a row; what was open at each end was lost (TestKilledOnTrial).

Cause: the state machine returned the commands to store the attempt and to apply the version together; the host stores in a goroutine, and a process killed before the end of the write had not counted.

Change: the apply is returned with the result of the write that has the attempt. A failed write holds nothing back; a pause that begins meanwhile does.

Why it works: at the time of the trial's answer, which the test kills after, the attempt is stored and synced.

Result: TestAttemptIsStoredBeforeItIsMade, with the order forced, fails without the change ('apply a/2' before the write).

--- a/internal/decide/rollout/apply.go
+++ b/internal/decide/rollout/apply.go
@@ -30,22 +30,31 @@
 		return append(commands, m.abandonCandidate(now)...)
 	}
 	m.phase = PhaseApplying
-	// The attempt is recorded before it is made, so that it counts if the process ends. The write is not waited for: a
-	// process that ends before it is done is not counted.
 	m.persistent.recordAttempt(&v)
-	commands := m.persist()
-	return append(commands, Command{
+	m.attemptUnstored = true
+	return m.persist()
+}
+
+// applyStored returns the command to apply the candidate, once its attempt is stored or could not be: an attempt that is
+// not on disk would not count if the process ended. During a pause it is not applied.
+func (m *StateMachine) applyStored() []Command {
+	if !m.attemptUnstored || m.paused || m.persisting {
+		return nil
+	}
+	m.attemptUnstored = false
+	v := *m.candidate
+	return []Command{{
 		Action:   ActionApply,
 		Version:  v,
 		Target:   m.running.with(v),
 		Previous: m.running,
-	})
+	}}
 }
 
 // HandleApplied handles the result of ActionApply: reason is why the version could not be applied and nothing has
 // changed, empty if the version runs. An applied version is confirmed at once, or after its canary.
 func (m *StateMachine) HandleApplied(now monotime.Micros, reason string) []Command {
-	if m.phase != PhaseApplying {
+	if m.phase != PhaseApplying || m.attemptUnstored {
 		return nil
 	}
 	v := *m.candidate
--- a/internal/decide/rollout/machine.go
+++ b/internal/decide/rollout/machine.go
@@ -47,6 +47,7 @@
 	unconfirmed      *Version       // the part of running that is not confirmed, nil if all of it is
 	rollbackRequired bool           // the canary of unconfirmed has failed
 	candidate        *Version       // being validated or applied
+	attemptUnstored  bool           // the attempt to apply candidate is neither stored nor has failed to be
 	pending          [2]*Version    // by source
 	paused           bool
 	nextValidationAt monotime.Micros // earliest instant of the next validation
@@ -143,9 +144,9 @@
 	return append(commands, m.retryRollback(now)...)
 }
 
-// SetPaused starts or ends a pause, during which no further version and no rollback's retry is started: for a hot
-// restart or a shutdown.
+// SetPaused starts or ends a pause, during which no further version is started or applied, and no rollback is retried:
+// for a hot restart or a shutdown.
 func (m *StateMachine) SetPaused(now monotime.Micros, paused bool) []Command {
 	m.paused = paused
-	return m.startNext(now)
+	return append(m.applyStored(), m.startNext(now)...)
 }
--- a/internal/decide/rollout/persist.go
+++ b/internal/decide/rollout/persist.go
@@ -22,7 +22,7 @@
 }
 
 // HandlePersisted handles the result of ActionPersist: reason is why the state was not stored, empty if it was. A
-// failure is retried after a backoff with jitter of half the mean up and down; no version waits for it.
+// failure is retried after a backoff with jitter of half the mean up and down; no version waits for that.
 func (m *StateMachine) HandlePersisted(now monotime.Micros, reason string) []Command {
 	if !m.persisting {
 		return nil
@@ -33,12 +33,12 @@
 		m.persistFailures++
 		backoff := persistRetryDelay << min(m.persistFailures-1, maxPersistDoublings)
 		m.persistRetryAt = now + backoff/2 + m.rng.Int64N(backoff)
-		return nil
+		return m.applyStored()
 	}
 	m.persistFailures = 0
 	m.persistRetryAt = 0
 	if m.persistAgain {
 		return m.persist()
 	}
-	return nil
+	return m.applyStored()
 }
--- a/internal/decide/rollout/rollout_test.go
+++ b/internal/decide/rollout/rollout_test.go
@@ -311,6 +311,26 @@
 	d.expect("validate a/1", "nack a/1: 2 processes ended while they tried version a/1")
 }
 
+// Guards against an attempt that is not counted because the process ended before it was on disk: a version is applied
+// after the write that has its attempt, also if an earlier write is in progress, and not during a pause.
+func TestAttemptIsStoredBeforeItIsMade(t *testing.T) {
+	d := newDriver(t, true)
+	d.answered[ActionPersist] = false
+	d.execute(d.machine.RejectUnreadable(fromControlPlane("a", 1), "no text"))
+	d.offer(fromControlPlane("a", 2))
+	d.expect("nack a/1: no text", "validate a/2")
+	d.execute(d.machine.HandlePersisted(d.now, "")) // the write of the rejection
+	d.expect()
+	d.execute(d.machine.SetPaused(d.now, true))
+	if d.machine.PersistentState().ApplyAttempts != 1 {
+		t.Error("the write in progress does not have the attempt")
+	}
+	d.execute(d.machine.HandlePersisted(d.now, ""))
+	d.expect()
+	d.execute(d.machine.SetPaused(d.now, false))
+	d.expect("apply a/2", "ack a/2", "start canary a/2")
+}
+
 // A failure to store the state is retried after a backoff, and no version waits for it.
 func TestPersistIsRetried(t *testing.T) {
 	d := newDriver(t, false)
