A pause of the machine does not count for the reuse delay that an attempt waits for

What callers saw: on a starved machine, a request answered with an earlier request's second response, right after a full reuse delay.

Cause: the delay was one timer. Where the machine pauses this process and the endpoint on it, both go on as the timer is due, and the endpoint's second response, due after 2 ms, comes after the next request: the trace in docs/incidents/response-of-another-request.md has rests of 20 to 26 ms.

Change: the wait is cut into four, so that a pause counts for one of them.

--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -22,11 +22,9 @@
 		if c == nil || wait <= 0 {
 			return c, err
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if err := p.waitAwake(ctx, wait); err != nil {
 			p.putUnused(c)
-			return nil, ctx.Err()
+			return nil, err
 		}
 		c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
 		p.mu.Lock()
@@ -45,6 +43,23 @@
 	}
 }
 
+// waitSteps is how many times waitAwake wakes up within Options.ReuseDelay.
+const waitSteps = 4
+
+// waitAwake waits until this process has been running for a time, or returns the error of ctx once that ends. A pause of
+// the whole machine counts for one of waitSteps only: during it an endpoint on the same machine sends nothing either.
+func (p *Pool) waitAwake(ctx context.Context, wait time.Duration) error {
+	step := max(time.Nanosecond, p.options.ReuseDelay/waitSteps)
+	for left := wait; left > 0; left -= step {
+		select {
+		case <-time.After(min(left, step)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // getConn returns a connection, and what is left of its reuse delay. With ignoreDelay that is not waited for.
 func (p *Pool) getConn(ctx context.Context, to *Target, ignoreDelay bool) (c *Conn, wait time.Duration, err error) {
 	p.mu.Lock()
