Many idle connections of one client do not shorten the idle time of another's

What callers saw: a client process found its only connection to the daemon closed after 0.1 to 0.5 s at rest, beside another client's load (broken pipe on the unix connection of TestTakeover and TestChangesUnderLoad).

Cause: decide/connlimit shortened the idle time of every owner with the number of all idle connections.

Change: the idle time of an owner is the longer of what all idle connections allow and what its own allow within its share of MaxIdle. The limit holds by eviction as before.

Result: TestIdleTimeOfOneOwnerIsNotShortenedByAnother fails without it ('the only connection of an owner expired after 102').

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -88,6 +88,9 @@
 	line("registry_entries", uint64(f.ListedEndpoints))
 	line("out_of_rotation", uint64(f.AvoidedEndpoints))
 	line("surplus_responses", d.upstreams.SurplusResponses())
+	for _, closed := range d.front.ClosedConnections() {
+		line("client_connections_closed."+closed.Reason, closed.Count)
+	}
 	if f.OverloadControlled {
 		line("overload_level_percent", uint64(100*f.OverloadLevel+0.5))
 		line("overload_shed", f.ShedRequests)
--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -96,6 +96,41 @@
 	}
 }
 
+// Guards against a client whose only connection is closed because another client has many idle ones: the idle time of
+// an owner within its share of MaxIdle is not shortened, and the limit holds all the same.
+func TestIdleTimeOfOneOwnerIsNotShortenedByAnother(t *testing.T) {
+	limits := Limits{MaxConnections: 200, MaxIdle: 80, MaxIdleTime: 15_000, MinIdleTime: 100}
+	x := newTestTable(t, limits)
+	single := x.NewOwner(1, 100, 0)
+	crowd := x.NewOwner(1, 100, 0)
+	only, _ := x.Add(0, single, 0)
+	for i := range 79 {
+		x.Add(1, crowd, 1+i)
+	}
+	for range 50 {
+		c, evicted := x.Add(2, crowd, 100)
+		if c == nil || evicted == nil || evicted.owner != crowd {
+			t.Fatalf("evicted: %+v, want one of the crowd's", evicted)
+		}
+	}
+	if all, busy := x.Counts(); all-busy != limits.MaxIdle {
+		t.Errorf("%d idle connections, want %d", all-busy, limits.MaxIdle)
+	}
+	x.Add(2, crowd, 101)
+	for _, now := range []int64{102, 1000, 14_000} {
+		for c, _ := x.RemoveExpired(now); c != nil; c, _ = x.RemoveExpired(now) {
+			if c == only {
+				t.Fatalf("the only connection of an owner expired after %d", now)
+			}
+		}
+	}
+	for c, _ := x.RemoveExpired(15_100); c != nil; c, _ = x.RemoveExpired(15_100) {
+	}
+	if all, _ := x.Counts(); all != 0 {
+		t.Errorf("%d connections left after MaxIdleTime, want none", all)
+	}
+}
+
 // Of an owner at its own limit one of its own connections is evicted; an owner with many idle ones is before one with
 // few.
 func TestOwnerLimitsAndWeights(t *testing.T) {
--- a/internal/decide/connlimit/eviction.go
+++ b/internal/decide/connlimit/eviction.go
@@ -43,41 +43,51 @@
 	return best
 }
 
-// RemoveExpired decides whether an idle connection has expired (idleTimeout). It removes and returns the one that was
-// idle longest if so. Otherwise it returns nil, and the instant at which that one expires unless the number of idle
-// connections changes before; 0 if none is idle.
+// RemoveExpired decides whether an idle connection has expired (idleTimeout). It removes and returns one that has.
+// Otherwise it returns nil, and the instant at which the next one expires unless the numbers of idle connections change
+// before; 0 if none is idle.
 func (t *Table[T]) RemoveExpired(now monotime.Micros) (expired *Conn[T], next monotime.Micros) {
 	for {
-		oldest := t.oldestIdle()
-		if oldest == nil {
+		c, expiresAt := t.firstToExpire()
+		if c == nil {
 			return nil, 0
 		}
-		if timeout := t.idleTimeout(); oldest.idleSince+timeout > now {
-			return nil, oldest.idleSince + timeout
+		if expiresAt > now {
+			return nil, expiresAt
 		}
-		if t.confirmIdle(oldest.Value) {
-			t.Remove(oldest)
-			return oldest, 0
+		if t.confirmIdle(c.Value) {
+			t.Remove(c)
+			return c, 0
 		}
-		t.MarkBusy(oldest)
+		t.MarkBusy(c)
 	}
 }
 
-// oldestIdle returns the connection of any owner that was idle longest; nil if none is idle.
-func (t *Table[T]) oldestIdle() *Conn[T] {
-	var oldest *Conn[T]
+// firstToExpire returns the connection that expires first, and when; nil if none is idle.
+func (t *Table[T]) firstToExpire() (first *Conn[T], expiresAt monotime.Micros) {
+	var weights float64 // of all owners with idle connections
 	for _, o := range t.idleOwners {
-		if c := t.longestIdle(o); oldest == nil || c.idleSince < oldest.idleSince {
-			oldest = c
+		weights += o.weight
+	}
+	for _, o := range t.idleOwners {
+		c := t.longestIdle(o)
+		if at := c.idleSince + t.idleTimeout(o, weights); first == nil || at < expiresAt {
+			first = c
+			expiresAt = at
 		}
 	}
-	return oldest
+	return first, expiresAt
 }
 
-// idleTimeout returns the time for which a connection may be idle at present: linear in the idle connections, from
-// Limits.MaxIdleTime with none to Limits.MinIdleTime with Limits.MaxIdle of them.
-func (t *Table[T]) idleTimeout() monotime.Micros {
-	freeFraction := 1 - float64(t.idle)/float64(t.limits.MaxIdle)
+// idleTimeout returns the time for which a connection of an owner may be idle at present, where weights is the sum of
+// the weights of all owners with idle connections. It is the longer of what the idle connections of all owners allow
+// within Limits.MaxIdle, and what those of this owner allow within its share of that: many idle connections of one owner
+// do not shorten the idle time of another that is within its share.
+func (t *Table[T]) idleTimeout(o *Owner[T], weights float64) monotime.Micros {
+	maxIdle := float64(t.limits.MaxIdle)
+	usedByAll := float64(t.idle) / maxIdle
+	usedOfShare := float64(o.idle.Len()) / (maxIdle * o.weight / weights)
+	freeFraction := 1 - min(usedByAll, usedOfShare)
 	return t.limits.MinIdleTime + monotime.Micros(freeFraction*float64(t.limits.MaxIdleTime-t.limits.MinIdleTime))
 }
 
--- a/internal/decide/connlimit/owner.go
+++ b/internal/decide/connlimit/owner.go
@@ -33,3 +33,6 @@
 	idleElement   *list.Element // in owner.idle; nil while a request is open
 	removed       bool          // from the table
 }
+
+// IdleTime returns how long a connection that is idle, or was removed while it was, has been idle.
+func (c *Conn[T]) IdleTime(now monotime.Micros) monotime.Micros { return now - c.idleSince }
--- a/internal/decide/connlimit/settings.go
+++ b/internal/decide/connlimit/settings.go
@@ -11,8 +11,8 @@
 	MaxConnections int // with and without an open request, of all owners
 	MaxIdle        int // without an open request, of all owners; at most MaxConnections
 
-	// A connection may be idle for MaxIdleTime if hardly any others are, and for MinIdleTime if MaxIdle are. In
-	// between the time falls linearly (Table.idleTimeout).
+	// A connection may be idle for MaxIdleTime if hardly any others are, and for MinIdleTime if MaxIdle are and its
+	// owner has its share of them. In between the time falls linearly (Table.idleTimeout).
 	MaxIdleTime monotime.Micros
 	MinIdleTime monotime.Micros
 }
--- a/internal/frontend/http1/accept.go
+++ b/internal/frontend/http1/accept.go
@@ -39,7 +39,7 @@
 				m.log.Warn("accept failed", "error", err)
 			}
 			m.mu.Lock()
-			m.closeLocked(m.table.Evictable())
+			m.closeForLocked(m.table.Evictable(), closedEvicted)
 			m.mu.Unlock()
 			time.Sleep(backoff)
 			backoff = min(2*backoff, maxAcceptBackoff)
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -9,6 +9,7 @@
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/monotime"
 )
 
 // connManager accepts clients' connections and limits their number. http.Server is not used: it does not expose
@@ -25,6 +26,10 @@
 	serving     int             // connections that are being served
 	drained     []chan struct{} // those of waitDrained, closed once serving is 0
 
+	closed            [closeReasons]uint64 // connections closed between requests, by reason
+	nextEarlyCloseLog monotime.Micros      // before that, no early close is logged
+	maxIdleTime       monotime.Micros      // Limits.MaxIdleTime
+
 	handoff  func(net.Conn) bool // hands an idle connection over (Server.SetHandoff); nil while none are
 	handoffs int                 // number of setHandoff calls that started handing over
 }
@@ -33,7 +38,7 @@
 func newConnManager(
 	limits connlimit.Limits, clk clock.Clock, serve func(*conn), log *slog.Logger,
 ) (*connManager, error) {
-	m := &connManager{clock: clk, serve: serve, log: log}
+	m := &connManager{clock: clk, serve: serve, log: log, maxIdleTime: limits.MaxIdleTime}
 	var err error
 	if m.table, err = connlimit.New(limits, m.isEvictable); err != nil {
 		return nil, err
@@ -58,8 +63,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entry, evicted := m.table.Add(m.clock.Now(), client.connOwner, c)
-	m.closeLocked(evicted)
+	m.closeForLocked(evicted, closedEvicted)
 	if entry == nil {
+		m.closed[closedRejected]++
 		netConn.Close() // no other can be evicted: all have open requests
 		onClose()
 		return
@@ -133,7 +139,7 @@
 			}
 			return
 		}
-		m.closeLocked(c)
+		m.closeForLocked(c, closedExpired)
 	}
 }
 
@@ -159,7 +165,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c.input.setUnexamined(c.hasBuffered())
-	m.closeLocked(m.table.MarkIdle(m.clock.Now(), c.entry))
+	m.closeForLocked(m.table.MarkIdle(m.clock.Now(), c.entry), closedEvicted)
 	m.closeExpiredLocked()
 	return !m.closing || !c.input.isDrained()
 }
@@ -179,7 +185,7 @@
 	defer m.mu.Unlock()
 	m.closing = true
 	for c := m.table.Evictable(); c != nil; c = m.table.Evictable() {
-		m.closeLocked(c)
+		m.closeForLocked(c, closedDraining)
 	}
 }
 
@@ -189,7 +195,7 @@
 	defer m.mu.Unlock()
 	m.table.Each(func(entry *connlimit.Conn[*conn]) {
 		if c := entry.Value; c.requestStarted && c.input.isDrained() {
-			m.closeLocked(entry)
+			m.closeForLocked(entry, closedIncomplete)
 			n++
 		}
 	})
