Serve a connection that is handed over to a process that ends or hands over itself

What callers saw: a reset, or no answer, for a request on a connection at rest that a predecessor handed over to a sidecar which was just stopped, or which handed over to a third process.

Cause: AdoptConnection kept connections for later while the process does not accept; a process that drains or has paused accepting never came back to them, and closed them at its end.

Change: only before the process has served for the first time is a connection kept. After that it is served or handed on; a process that has stopped listening closes it if nothing has arrived on it.

--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -257,6 +258,102 @@
 	old.ends()
 }
 
+// Guards against connections that are lost with a request on them: a process that is stopped while its predecessor hands
+// connections over, or that hands its own over to a successor meanwhile, serves them or hands them on.
+func TestConnectionsHandedOverToProcessThatEnds(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor %v", successor), func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			ln := h.actAsPredecessor()
+			p := h.start()
+			c, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			answerSteps(t, c, 3)
+			p.ready()
+			if successor {
+				next := h.connectAsSuccessor(3)
+				defer next.Close()
+				go serveHandedOver(next)
+				awaitMessage(t, c, decide.HandedOver)
+			} else {
+				p.cmd.Process.Signal(syscall.SIGTERM)
+				awaitMessage(t, c, decide.Stopping)
+			}
+			client, server := connectedPair(t)
+			request := requestHead("GET", "/look/1", "")
+			if _, err := io.WriteString(client, request); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.HandOver(server); err != nil {
+				t.Fatal(err)
+			}
+			server.Close()
+			if code, err := exchange(client, bufio.NewReader(client), ""); code != 200 {
+				t.Errorf("the request on a connection that was handed over: %d, %v", code, err)
+			}
+			c.Close()
+			if !successor {
+				p.ends()
+			}
+		})
+	}
+}
+
+// awaitMessage reads messages until one of a kind.
+func awaitMessage(t *testing.T, c *takeover.Conn, kind decide.Event) {
+	t.Helper()
+	for {
+		m, err := c.ReadWithin(scriptedpeer.WaitTimeout)
+		if err != nil {
+			t.Fatalf("waiting for %v: %v", kind, err)
+		}
+		m.CloseFiles()
+		if m.Kind == kind {
+			return
+		}
+	}
+}
+
+// serveHandedOver serves the first connection that a predecessor hands over, with one response.
+func serveHandedOver(c *takeover.Conn) {
+	for {
+		m, err := c.Read()
+		if err != nil {
+			return
+		}
+		for _, file := range m.Files {
+			if conn, err := net.FileConn(file); err == nil {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				conn.Close()
+			}
+		}
+		m.CloseFiles()
+	}
+}
+
+// connectedPair returns both ends of a TCP connection.
+func connectedPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err = net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if server, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return client, server
+}
+
 // A predecessor that has another version of the protocol, sends malformed messages, or sends nothing more at some step:
 // the new process serves in time and does not end.
 func TestPredecessorSendsGarbage(t *testing.T) {
--- a/internal/decide/takeover/predecessor.go
+++ b/internal/decide/takeover/predecessor.go
@@ -31,6 +31,9 @@
 // HandingOver reports whether a hot restart or a shutdown is in progress: another successor is rejected.
 func (p *Predecessor) HandingOver() bool { return p.state != serving }
 
+// Draining reports whether a graceful shutdown without a connection to a successor is in progress.
+func (p *Predecessor) Draining() bool { return p.state == draining }
+
 // Step handles an event and returns the steps to carry out. Events that are not expected in a state are ignored.
 func (p *Predecessor) Step(now monotime.Micros, e Event) []Step {
 	if p.isStale(now, e) {
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -47,8 +47,9 @@
 	sidecar  *sidecar
 	listener net.Listener
 
-	offered    []byte     // the snapshot that came with the offer
-	earlyConns []net.Conn // handed over before this process accepts
+	offered        []byte     // the snapshot that came with the offer
+	earlyConns     []net.Conn // handed over before this process accepts
+	startedServing bool       // it has started to accept, which it may have ended since
 
 	successorListener *takeover.Listener // nil before this process serves, and without a shared folder
 	acceptResult      chan error         // of the frontend's accept loop; nil while it does not run
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -64,6 +64,7 @@
 // StartServing accepts clients, and successors of this process.
 func (l *lifecycle) StartServing() {
 	log := l.sidecar.log
+	l.startedServing = true
 	l.accept()
 	for _, conn := range l.earlyConns {
 		l.sidecar.front.Adopt(conn, l.sidecar.identify)
@@ -81,13 +82,17 @@
 	log.Info("serving", "name", l.sidecar.config.Name, "listen", l.listener.Addr().String())
 }
 
-// AdoptConnection serves a connection that the predecessor handed over, now or once this process serves.
+// AdoptConnection serves a connection that the predecessor handed over, now or once this process serves. A process that
+// has served and does not accept any more serves it, too: a request may have arrived on it.
 func (l *lifecycle) AdoptConnection(conn net.Conn) {
-	if l.sidecar.accepting.Load() {
-		l.sidecar.front.Adopt(conn, l.sidecar.identify)
+	if !l.startedServing {
+		l.earlyConns = append(l.earlyConns, conn)
 		return
 	}
-	l.earlyConns = append(l.earlyConns, conn)
+	l.sidecar.front.Adopt(conn, l.sidecar.identify)
+	if l.Predecessor.Draining() && l.acceptResult == nil {
+		l.sidecar.front.Quiesce() // closes the connection if nothing has arrived on it
+	}
 }
 
 // PredecessorLeaving stops sending cordons to the predecessor.
