Daemon: open a connection to an endpoint rather than reuse one right after a response

Cause: with few idle connections even the one that has rested for longest was used again within milliseconds; the sidecar waits for 20 ms, the daemon must not.

Change: an attempt that finds no rested connection opens one while fewer than 32 of the endpoint rest. Without descriptors or ports, at MaxConns, or with a bound on idle connections it uses the one that has rested for longest.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,8 +40,7 @@
 	KeepAlive   time.Duration // after which an endpoint closes an idle connection
 	MaxConns    int           // connections open or being opened
 	ReuseDelay  time.Duration // before a connection is used again (DefaultReuseDelay); 0 is none
-	// ReuseDelayOptional has an attempt that finds only connections within their ReuseDelay use the one that has rested
-	// for longest, instead of waiting.
+	// ReuseDelayOptional has an attempt never wait for a ReuseDelay (Pool.Get).
 	ReuseDelayOptional bool
 	// DistrustedReuseDelay is the reuse delay of an address that has sent a response to no request. 0 means
 	// DefaultDistrustedReuseDelay if there is a ReuseDelay, and none otherwise.
@@ -145,8 +144,7 @@
 // noConnStatus returns the status of an attempt for which there is no connection, which never ran. A shortage in this
 // process does not count as a failure of the endpoint, which would be ejected for it.
 func (p *Pool) noConnStatus(ctx context.Context, err error) balancer.Status {
-	shortage := errors.Is(err, errConnLimit) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
+	shortage := isShortage(err)
 	if shortage {
 		p.logShortage(err)
 	}
@@ -156,6 +154,12 @@
 	return balancer.ConnectFailed
 }
 
+// isShortage reports whether a connection could not be opened for lack of descriptors or ports in this process.
+func isShortage(err error) bool {
+	return errors.Is(err, errConnLimit) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
 // logShortage logs, once in shortageLogInterval at most, that this process has no connection for an attempt.
 func (p *Pool) logShortage(err error) {
 	p.mu.Lock()
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -13,9 +13,14 @@
 // has not been written yet.
 const DefaultReuseDelay = 20 * time.Millisecond
 
+// maxResting is how many idle connections to a target may be within their reuse delay with Options.ReuseDelayOptional.
+// Beyond that, or with a bound on idle connections, one of them is used in place of a new connection.
+const maxResting = 32
+
 // Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
-// the first to get past it, once it has or, with Options.ReuseDelayOptional, at once, since a new one costs more; else,
-// and for a distrusted address, a new one.
+// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one. With
+// Options.ReuseDelayOptional it waits for none: it returns a new one while fewer than maxResting rest, else the one that
+// has rested for longest.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
@@ -69,9 +74,29 @@
 		return c, wait, err
 	}
 	c, err = p.openConn(ctx, to)
+	if err != nil && isShortage(err) && p.options.ReuseDelayOptional {
+		if resting := p.takeResting(to); resting != nil {
+			return resting, 0, nil
+		}
+	}
 	return c, 0, err
 }
 
+// takeResting removes and returns the idle connection that has rested for longest, nil if there is none.
+func (p *Pool) takeResting(to *Target) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(to.idle) > 0 {
+		c, _ := p.takeDelayedLocked(to)
+		if p.isUsableLocked(c) {
+			c.availableAt = 0
+			return c
+		}
+		p.closeLocked(c)
+	}
+	return nil
+}
+
 // takeOrReserveLocked returns an idle connection and what is left of its reuse delay. It returns no connection and no
 // error where a new one is to be opened, which it has counted then.
 func (p *Pool) takeOrReserveLocked(to *Target, ignoreDelay bool) (*Conn, time.Duration, error) {
@@ -83,7 +108,10 @@
 	}
 	for len(to.idle) > 0 {
 		c, wait := p.takeDelayedLocked(to)
-		if wait > p.options.ReuseDelay { // of a distrusted address: that is not waited for
+		tooLong := wait > p.options.ReuseDelay // of a distrusted address
+		opensOne := p.options.ReuseDelayOptional && len(to.idle) < maxResting-1 &&
+			p.openConns < p.options.MaxConns && p.maxIdle == 0
+		if tooLong || opensOne {
 			p.insertIdleLocked(c)
 			break
 		}
