Open the socket for successors before clients are accepted

Cause, by reading: both programs accepted clients, and adopted connections, before the socket at which successors connect existed.

Change: StartServing opens that socket first; a successor that connects early is handled once the process serves, by the same event loop.

Result: the tests of hot restarts, stops and generations of cmd/dunlinsail, daemon and sidecar pass with -race. No test forces the window: it is closed by the order of two calls.

--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -132,6 +132,7 @@
 func (l *lifecycle) StartServing() {
 	l.serving = true
 	l.joinFleet()
+	l.listenForSuccessors() // first: a process that starts once clients are served must find this one
 	for _, listener := range l.listeners {
 		listener.keepPath(false)
 		listener.accept(l.front)
@@ -141,7 +142,6 @@
 		l.adopt(conn)
 	}
 	l.earlyConns = nil
-	l.listenForSuccessors()
 	l.log.Info("serving", "name", l.options.Config.Name, "listeners", l.addresses(), "pid", os.Getpid())
 	l.onServing()
 }
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -61,27 +61,35 @@
 // StartError returns nil: a process that is stopped before it serves ends without an error.
 func (l *lifecycle) StartError(string) error { return nil }
 
-// StartServing accepts clients, and successors of this process.
+// StartServing accepts clients, and successors of this process. The socket for successors is there first: a process that
+// starts once clients are served must find this one.
 func (l *lifecycle) StartServing() {
 	log := l.sidecar.log
+	l.listenForSuccessors()
 	l.startedServing = true
 	l.accept()
 	for _, conn := range l.earlyConns {
 		l.sidecar.front.Adopt(conn, l.sidecar.identify)
 	}
 	l.earlyConns = nil
-	if path := l.socketPath(); path != "" {
-		listener, err := takeover.ListenReplacing(path)
-		l.successorListener = listener
-		if err != nil {
-			log.Error("hot restart socket not available", "error", err)
-		} else {
-			l.Loop.Goroutines.Go(func() { l.AcceptSuccessors(context.Background(), listener, answerTimeout) })
-		}
-	}
 	log.Info("serving", "name", l.sidecar.config.Name, "listen", l.listener.Addr().String())
 }
 
+// listenForSuccessors opens the socket at which successors connect. Without a shared folder there is none.
+func (l *lifecycle) listenForSuccessors() {
+	path := l.socketPath()
+	if path == "" {
+		return
+	}
+	listener, err := takeover.ListenReplacing(path)
+	l.successorListener = listener
+	if err != nil {
+		l.sidecar.log.Error("hot restart socket not available", "error", err)
+		return
+	}
+	l.Loop.Goroutines.Go(func() { l.AcceptSuccessors(context.Background(), listener, answerTimeout) })
+}
+
 // AdoptConnection serves a connection that the predecessor handed over, now or once this process serves. A process that
 // has served and does not accept any more serves it, too: a request may have arrived on it.
 func (l *lifecycle) AdoptConnection(conn net.Conn) {
