Soak: restarts, stops and pauses of real processes under load, drawn from seeds

Need: the faults of hot restarts came at times only, and chains of restarts were played by no test.

Change: dunlinsail-experiment soak plays dunlinsail and dunlinsaild with fake clients, endpoints, discovery and platform; a seed draws restarts (also two at once), SIGTERM with SIGINT behind it, SIGHUP, SIGSTOP for 0.1 to 5 s, drains, crowds, and second, partial, late and missing responses.

Three of its own faults were traced first: it stopped the process that served where two successors took over in the other order; it gave new processes a list from before a drain; and its client took a reset 94 us after its write on a reused connection for a loss, which the protocol has the client send again (effects are checked).

--- a/cmd/dunlinsail-experiment/main.go
+++ b/cmd/dunlinsail-experiment/main.go
@@ -42,6 +42,7 @@
 	Faults    faultsCmd    `cmd:"" help:"Play scenarios by several real processes with faults between them, and judge what they claim."`
 	Gossip    gossipCmd    `cmd:"" name:"words" help:"Play the words between instances in simulated time, and check each second of what they spend."`
 	Expect    expectCmd    `cmd:"" help:"Play scenarios with the shipped settings, and judge what they claim."`
+	Soak      soakCmd      `cmd:"" help:"Restart real processes under load by seeds, and check the rules."`
 	Sweep     sweepCmd     `cmd:"" help:"Compare the values of one key or two."`
 	Search    searchCmd    `cmd:"" help:"Look for the plan at which a variant does worst, and make it small."`
 	Prove     proveCmd     `cmd:"" help:"Say how often comparisons are right, of which it is known what they ought to say."`
--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -258,8 +258,8 @@
 	old.ends()
 }
 
-// Guards against connections that are lost with a request on them: a process that is stopped while its predecessor hands
-// connections over, or that hands its own over to a successor meanwhile, serves them or hands them on.
+// Guards against connections that are lost with a request on them: a process that is stopped while its predecessor
+// hands connections over, or that hands its own over to a successor meanwhile, serves them or hands them on.
 func TestConnectionsHandedOverToProcessThatEnds(t *testing.T) {
 	for _, successor := range []bool{false, true} {
 		t.Run(fmt.Sprintf("successor %v", successor), func(t *testing.T) {
--- a/internal/decide/connlimit/eviction.go
+++ b/internal/decide/connlimit/eviction.go
@@ -81,8 +81,8 @@
 
 // idleTimeout returns the time for which a connection of an owner may be idle at present, where weights is the sum of
 // the weights of all owners with idle connections. It is the longer of what the idle connections of all owners allow
-// within Limits.MaxIdle, and what those of this owner allow within its share of that: many idle connections of one owner
-// do not shorten the idle time of another that is within its share.
+// within Limits.MaxIdle, and what those of this owner allow within its share of that: many idle connections of one
+// owner do not shorten the idle time of another that is within its share.
 func (t *Table[T]) idleTimeout(o *Owner[T], weights float64) monotime.Micros {
 	maxIdle := float64(t.limits.MaxIdle)
 	usedByAll := float64(t.idle) / maxIdle
--- a/internal/decide/rollout/apply.go
+++ b/internal/decide/rollout/apply.go
@@ -35,8 +35,8 @@
 	return m.persist()
 }
 
-// applyStored returns the command to apply the candidate, once its attempt is stored or could not be: an attempt that is
-// not on disk would not count if the process ended. During a pause it is not applied.
+// applyStored returns the command to apply the candidate, once its attempt is stored or could not be: an attempt that
+// is not on disk would not count if the process ended. During a pause it is not applied.
 func (m *StateMachine) applyStored() []Command {
 	if !m.attemptUnstored || m.paused || m.persisting {
 		return nil
--- /dev/null
+++ b/internal/experiment/soak/check.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"dunlinsail/internal/fake/client"
+)
+
+const (
+	// drainSlack is how long after the grace of a drain a request may still begin: 50 ms of the rules on sockets, and
+	// 150 ms for which a process may be held up.
+	drainSlack = 200 * time.Millisecond
+	drainGrace = 250 * time.Millisecond // as in the configurations
+
+	// recoveryTime is how long a process that goes on after SIGSTOP may take to answer what has waited for it.
+	recoveryTime = 500 * time.Millisecond
+)
+
+// violate records a broken rule.
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
+}
+
+// check checks the rules once all processes have ended.
+func (r *run) check() {
+	for _, result := range r.results {
+		r.checkResult(&result)
+	}
+	r.checkEffects()
+	r.checkDrains()
+	for _, p := range r.programs.all {
+		if p.killed && !r.pausedSince(p.terminatedAt) {
+			r.violate("a process had not ended %v after SIGTERM", killAfter)
+		}
+		if p.err != nil && !p.killed && !p.rejected() {
+			r.violate("a process ended with %v", p.err)
+		}
+	}
+	if left := r.leftovers(); len(left) > 0 && !r.anyKilled() {
+		r.violate("socket files left: %v", left)
+	}
+}
+
+// anyKilled reports whether the platform has killed a process, which then could not remove its files.
+func (r *run) anyKilled() bool {
+	for _, p := range r.programs.all {
+		if p.killed {
+			return true
+		}
+	}
+	return false
+}
+
+// checkResult checks that a request got its own final response in time.
+func (r *run) checkResult(result *client.Result) {
+	if errors.Is(result.Err, errClosing) {
+		return // it was never sent, or was not read by a process that closed its connection
+	}
+	r.report.Requests++
+	r.report.Verdicts[result.Verdict]++
+	end := result.StartedAt.Add(result.Latency)
+	switch result.Verdict {
+	case client.WrongResponse:
+		r.violate("%s %s got another response, status %d", result.Class, result.ID, result.Status)
+	case client.ConnectionLost, client.TimedOut:
+		if r.overlapsPause(result.StartedAt, end) {
+			r.report.Excused++
+			return
+		}
+		r.violate("%s %s: %v after %v: %v", result.Class, result.ID, result.Verdict, result.Latency, result.Err)
+	}
+}
+
+// overlapsPause reports whether a process was stopped by SIGSTOP at some time of a request. What waited for it then may
+// be late, or lost if the platform killed that process before it could finish.
+func (r *run) overlapsPause(start, end time.Time) bool {
+	for _, p := range r.pauses {
+		if start.Before(p.to.Add(recoveryTime)) && end.After(p.from) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkEffects checks that no request of an unsafe or keyed class took effect twice.
+func (r *run) checkEffects() {
+	effects := map[string]int{}
+	for _, ran := range r.fleet.ledger.Runs() {
+		if ran.TookEffect && ran.Class != "look" {
+			effects[ran.Class+" "+ran.TraceID]++
+		}
+	}
+	for what, n := range effects {
+		if n > 1 {
+			r.violate("%s took effect %d times", what, n)
+		}
+	}
+}
+
+// checkDrains checks that a draining endpoint got nothing new after the grace. A process that was stopped meanwhile may
+// send what it had decided before, right after it goes on.
+func (r *run) checkDrains() {
+	for _, ran := range r.fleet.ledger.Runs() {
+		listed, draining := r.drained[ran.Endpoint]
+		if !draining || ran.StartedAt.Sub(listed) <= drainGrace+drainSlack {
+			continue
+		}
+		allowed := false
+		for _, p := range r.pauses {
+			justAfter := ran.StartedAt.After(p.to) && ran.StartedAt.Sub(p.to) < drainGrace+drainSlack
+			allowed = allowed || justAfter && p.from.Before(listed.Add(drainGrace))
+		}
+		if !allowed {
+			r.violate("%s %s reached %s %v after that was listed as draining",
+				ran.Class, ran.TraceID, ran.Endpoint, ran.StartedAt.Sub(listed))
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/soak/check_test.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/fake/client"
+	"dunlinsail/internal/fake/endpoint"
+)
+
+// Each broken rule is reported, and what a pause of a process explains is excused.
+func TestChecks(t *testing.T) {
+	now := time.Now()
+	lost := errors.New("reset")
+	for want, result := range map[string]client.Result{
+		"look a got another response": {ID: "a", Class: "look", Verdict: client.WrongResponse, StartedAt: now},
+		"look b: lost":                {ID: "b", Class: "look", Verdict: client.ConnectionLost, Err: lost, StartedAt: now},
+		"look c: timed out":           {ID: "c", Class: "look", Verdict: client.TimedOut, Err: lost, StartedAt: now},
+	} {
+		r := &run{report: &Report{}}
+		r.checkResult(&result)
+		if v := r.report.Violations; len(v) != 1 || !strings.HasPrefix(v[0], want) {
+			t.Errorf("%q, want %q", v, want)
+		}
+		r = &run{report: &Report{}, pauses: []pause{{from: now.Add(-time.Second), to: now}}}
+		r.checkResult(&result)
+		excused := result.Verdict != client.WrongResponse
+		if (r.report.Excused == 1) != excused || (len(r.report.Violations) == 0) != excused {
+			t.Errorf("in a pause: %d excused, %q", r.report.Excused, r.report.Violations)
+		}
+	}
+	r := &run{report: &Report{}, fleet: &fleet{ledger: &endpoint.Ledger{}}}
+	r.checkResult(&client.Result{Verdict: client.ConnectionLost, Err: errClosing})
+	r.checkEffects()
+	r.checkDrains()
+	if r.report.Requests != 0 || len(r.report.Violations) != 0 {
+		t.Errorf("a request that was never sent: %+v", r.report)
+	}
+}
--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -64,6 +64,14 @@
 	NoResponse            // none until the client leaves
 	ConnectionReset       // the connection is reset after the request ran
 	Conflict              // 409 from the application: the request ran, and its effect is impossible
+	SecondResponse        // the response, and secondResponseDelay later once more
+	PartialResponse       // a part of the response, and the end of the connection
+	LateResponse          // the response, after lateResponseDelay
+)
+
+const (
+	secondResponseDelay = 5 * time.Millisecond
+	lateResponseDelay   = 300 * time.Millisecond
 )
 
 // Start starts an endpoint on a free loopback port.
@@ -164,6 +172,11 @@
 	case fault == InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case fault == SecondResponse, fault == PartialResponse:
+		s.respondUnframed(w, fault, s.responseBody(run.TraceID, len(body)))
+		return
+	case fault == LateResponse:
+		time.Sleep(lateResponseDelay)
 	}
 	w.Header().Set("Content-Type", "text/plain")
 	if fault == Conflict {
@@ -172,6 +185,24 @@
 	_, _ = io.WriteString(w, s.responseBody(run.TraceID, len(body))) // a client that has left needs no response
 }
 
+// respondUnframed writes a response twice, or a part of it, as package http would not.
+func (s *Server) respondUnframed(w http.ResponseWriter, fault Fault, body string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the client has left
+	}
+	defer c.Close()
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if fault == PartialResponse {
+		_, _ = io.WriteString(c, response[:len(response)/2])
+		return
+	}
+	for range 2 {
+		_, _ = io.WriteString(c, response) // an error shows that the client has left
+		time.Sleep(secondResponseDelay)
+	}
+}
+
 // serveProbe responds to a health check with a load report.
 func (s *Server) serveProbe(w io.Writer) {
 	s.mu.Lock()
--- a/internal/sidecar/inherited.go
+++ b/internal/sidecar/inherited.go
@@ -7,9 +7,9 @@
 	"syscall"
 )
 
-// inheritedListener is a listening socket that the platform shares with this process. Whether it blocks is a property of
-// the socket, not of a process: the platform may make it blocking at any time, as package os/exec does when it passes
-// the socket to another process. An accept that blocks could not be ended, neither by a deadline nor by Close.
+// inheritedListener is a listening socket that the platform shares with this process. Whether it blocks is a property
+// of the socket, not of a process: the platform may make it blocking at any time, as package os/exec does when it
+// passes the socket to another process. An accept that blocks could not be ended, neither by a deadline nor by Close.
 type inheritedListener struct {
 	*net.TCPListener
 	raw syscall.RawConn
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -61,8 +61,8 @@
 // StartError returns nil: a process that is stopped before it serves ends without an error.
 func (l *lifecycle) StartError(string) error { return nil }
 
-// StartServing accepts clients, and successors of this process. The socket for successors is there first: a process that
-// starts once clients are served must find this one.
+// StartServing accepts clients, and successors of this process. The socket for successors is there first: a process
+// that starts once clients are served must find this one.
 func (l *lifecycle) StartServing() {
 	log := l.sidecar.log
 	l.listenForSuccessors()
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -18,9 +18,9 @@
 const maxResting = 32
 
 // Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
-// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one. With
-// Options.ReuseDelayOptional it waits for none: it returns a new one while fewer than maxResting rest, else the one that
-// has rested for longest.
+// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one.
+// With Options.ReuseDelayOptional it waits for none: it returns a new one while fewer than maxResting rest, else the
+// one that has rested for longest.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
 	for {
 		c, wait, err := p.getConn(ctx, to, false)
@@ -51,8 +51,9 @@
 // waitSteps is how many times waitAwake wakes up within Options.ReuseDelay.
 const waitSteps = 4
 
-// waitAwake waits until this process has been running for a time, or returns the error of ctx once that ends. A pause of
-// the whole machine counts for one of waitSteps only: during it an endpoint on the same machine sends nothing either.
+// waitAwake waits until this process has been running for a time, or returns the error of ctx once that ends. A pause
+// of the whole machine counts for one of waitSteps only: during it an endpoint on the same machine sends nothing
+// either.
 func (p *Pool) waitAwake(ctx context.Context, wait time.Duration) error {
 	step := max(time.Nanosecond, p.options.ReuseDelay/waitSteps)
 	for left := wait; left > 0; left -= step {
@@ -180,7 +181,8 @@
 }
 
 // isUsableLocked reports whether an idle connection has neither expired nor been closed, or written to, by its
-// endpoint. A request written to another connection would be lost and might have run, or receive another request's response.
+// endpoint. A request written to another connection would be lost and might have run, or receive another request's
+// response.
 func (p *Pool) isUsableLocked(c *Conn) bool {
 	if time.Since(c.idleSince) >= p.maxIdleTime {
 		return false
