Log what the prediction behind a rejection rests on, and how long events wait

Need: 'requests rejected' could not tell an endpoint that is slow from one that is stuck, or from a process that is run late (TestTakeover, TestChangesUnderLoad, TestSlowReaders: 503 beside load).

Change: the line has class, rtt_ms, in_flight, queue_delay_percent and silent_ms; every line of decisions has event_wait_ms, the time its event waited in the core's queue.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -105,7 +105,7 @@
 		b.initForcedAdmit(now, c)
 	}
 	if !first || now-c.lastForcedAdmit < b.forcedAdmitInterval(now, c) {
-		b.logRejection(now, e, expected, budget)
+		b.logRejection(now, r, e, expected, budget)
 		return false
 	}
 	c.lastForcedAdmit = now
--- a/balancer/logging.go
+++ b/balancer/logging.go
@@ -37,15 +37,21 @@
 }
 
 // logRejection logs why a request is rejected: the best endpoint would answer later (expected, microseconds)
-// than the latency budget allows (microseconds). The line is made only when one is due, since there may be
-// thousands of rejections per second.
-func (b *Balancer) logRejection(now monotime.Micros, best *endpoint, expected, budget float64) {
+// than the latency budget allows (microseconds). What the prediction rests on follows: the learned round trip,
+// by how many times requests there delay one another, and for how long the endpoint has sent nothing. The line
+// is made only when one is due, since there may be thousands of rejections per second.
+func (b *Balancer) logRejection(now monotime.Micros, r *request, best *endpoint, expected, budget float64) {
 	if now-b.lastLogged[messageRejected] >= logInterval {
 		b.log(now, messageRejected,
 			"rejected_percent", int(percent*b.rejectedRatio.value),
 			"best_endpoint", best.ID,
 			"expected_ms", int(expected/microsPerMilli),
-			"budget_ms", int(budget/microsPerMilli))
+			"budget_ms", int(budget/microsPerMilli),
+			"class", int(r.Class),
+			"rtt_ms", int(best.rtt.valueOr(0)/microsPerMilli),
+			"in_flight", best.inflight,
+			"queue_delay_percent", int(percent*b.queueDelayFactor(now, best)),
+			"silent_ms", int(float64(now-best.silentSince)*indicator(best.inflight > 0)/microsPerMilli))
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,16 +50,26 @@
 // event is a change of the engine's state. Only the goroutine of Run calls it.
 type event func(now monotime.Micros)
 
+// queuedEvent is an event that waits for the core.
+type queuedEvent struct {
+	handle   event
+	postedAt monotime.Micros
+}
+
+// queue returns an event as it is sent to the core.
+func (x *Core) queue(e event) queuedEvent { return queuedEvent{e, x.config.Clock.Now()} }
+
 // Core runs an engine. Make one with New, add pools, and call Run. The engine belongs to the goroutine of Run: all
 // methods pass it events, and are safe for concurrent use unless they say otherwise.
 type Core struct {
 	config       Config
 	engine       *engine.Engine
-	events       chan event
-	stopped      chan struct{} // closed once no event is handled any more
-	ready        atomic.Bool   // an endpoint has been ready
-	readySignal  chan struct{} // closed once ready is set
-	awaitingPlan atomic.Bool   // no maintenance plan is known yet: nothing is sent to any endpoint
+	events       chan queuedEvent
+	eventWait    monotime.Micros // for which the event that is handled now has waited; only the goroutine of Run uses it
+	stopped      chan struct{}   // closed once no event is handled any more
+	ready        atomic.Bool     // an endpoint has been ready
+	readySignal  chan struct{}   // closed once ready is set
+	awaitingPlan atomic.Bool     // no maintenance plan is known yet: nothing is sent to any endpoint
 
 	mu            sync.Mutex
 	pendingStarts []event // of new pools, handled before any event that is posted later
@@ -69,7 +79,7 @@
 func New(c Config) *Core {
 	x := &Core{
 		config:      c,
-		events:      make(chan event, eventQueueLength),
+		events:      make(chan queuedEvent, eventQueueLength),
 		stopped:     make(chan struct{}),
 		readySignal: make(chan struct{}),
 	}
@@ -115,10 +125,11 @@
 			timer.Reset(clock.Duration(due - now))
 		}
 		select {
-		case handle := <-x.events:
+		case queued := <-x.events:
 			now = x.config.Clock.Now()
+			x.eventWait = now - queued.postedAt
 			x.runPendingStarts(now)
-			handle(now)
+			queued.handle(now)
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -129,7 +140,7 @@
 // post passes an event to the core. Once the core has stopped, the event is dropped.
 func (x *Core) post(e event) {
 	select {
-	case x.events <- e:
+	case x.events <- x.queue(e):
 	case <-x.stopped:
 	}
 }
@@ -150,7 +161,7 @@
 func queryContext[T any](ctx context.Context, x *Core, read func(now monotime.Micros) T) (v T, err error) {
 	result := make(chan T, 1)
 	select {
-	case x.events <- func(now monotime.Micros) { result <- read(now) }:
+	case x.events <- x.queue(func(now monotime.Micros) { result <- read(now) }):
 	case <-x.stopped:
 		return v, context.Canceled
 	case <-ctx.Done():
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -103,8 +103,11 @@
 	close(h.readySignal)
 }
 
-// Log writes an informational line to the log.
-func (h *host) Log(line string, args ...any) { h.config.Log.Info(line, args...) }
+// Log writes an informational line to the log, with the time for which the event that led to it has waited for the
+// core: a process that is paused takes its own delay for that of endpoints.
+func (h *host) Log(line string, args ...any) {
+	h.config.Log.Info(line, append(args, "event_wait_ms", h.eventWait/monotime.Millisecond)...)
+}
 
 // Warn writes a warning to the log.
 func (h *host) Warn(line string, args ...any) { h.config.Log.Warn(line, args...) }
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -30,7 +30,7 @@
 	x.pendingStarts = append(x.pendingStarts, start)
 	x.mu.Unlock()
 	select {
-	case x.events <- func(monotime.Micros) {}: // wakes the core
+	case x.events <- x.queue(func(monotime.Micros) {}): // wakes the core
 	default: // the queue is full: its events wake the core
 	}
 }
