Tests of handovers: the load ends with its test

Cause: after a t.Fatal of TestTakeover or TestChangesUnderLoad the load went on without a daemon, logged 'connection refused' and panicked ('Log in goroutine after TestTakeover has completed').

Change: startLosslessLoad ends its load, and waits for its end, in the test's cleanup. No check is changed.

--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -61,8 +61,17 @@
 			t.Errorf("%s %s: %v, %d, %v", r.Class, r.ID, r.Verdict, r.Status, r.Err)
 		}
 	})
+	ctx, stop := context.WithCancel(context.Background())
 	report := make(chan client.Report, 1)
-	go func() { report <- load.Run(context.Background()) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		report <- load.Run(ctx)
+	}()
+	t.Cleanup(func() { // a test that fails ends its load
+		stop()
+		<-ended
+	})
 	scriptedpeer.Eventually(t, "load", func() bool { return len(w.ledger.Runs()) > 100 })
 	return report
 }
