--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,7 +65,7 @@
 	config       Config
 	engine       *engine.Engine
 	events       chan queuedEvent
-	eventWait    monotime.Micros // for which the event that is handled now has waited; only the goroutine of Run uses it
+	eventWait    monotime.Micros // of the event that is handled now; only the goroutine of Run uses it
 	stopped      chan struct{}   // closed once no event is handled any more
 	ready        atomic.Bool     // an endpoint has been ready
 	readySignal  chan struct{}   // closed once ready is set
