Charge no endpoint with a time for which this process did not run

What callers saw: 503 within 5 ms for requests that had waited while the process was stopped for 0.1 s or more, and 503 after that, while every endpoint was idle.

Cause: responses that had arrived lay in the process's own socket buffers. predictLatency took the time since the last answer as the endpoint's silence, requests were decided before the outcomes that lay ready, and each of these outcomes then counted with the length of the stall in trend, service times, breakers, round trips and timeouts.

Change: the core's event loop finds a stall by its own clock (due at one time, ran at another; a heartbeat of 20 ms while an endpoint is expected to respond) and passes it to the engine as an argument; silence, latency, timeouts, dials, probes, queue and concurrency limit leave it out.

Measured: TestRequestsAfterStallAreServed, TestTimeoutDoesNotRunDuringStall, TestProbeDuringStallIsNoReport and TestOutcomesAreHandledBeforeRequestsAfterStall fail without the engine's and the loop's part.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -83,6 +83,7 @@
 	Endpoint      uint32 // Not used by the balancer, which knows it by the attempt.
 	Status        Status
 	Latency       monotime.Micros // from the send to the end
+	Stalled       monotime.Micros // of Latency, the part for which the host's process did not run
 	Answered      bool            // the request has its final answer
 	NotReplayable bool            // a part of its body was sent that cannot be sent again: no retry is possible
 	Load          []float32       // load report on the answer. Not used by the balancer.
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -19,9 +19,9 @@
 //
 // A request gets one final answer: the outcome that answers it, Actions.Reject or Actions.Fail. The host
 // calls ShouldReject before a request enters the host's own queue, HandleHeaders when a streamed answer
-// begins, and HandleClientGone when the client leaves. What the fleet decides together comes in by
-// SetOverloadPolicy, SetSuspicion, SetCordon and SetPaused. In a hot restart the next balancer takes over by
-// LearnedState, Restore and SetHandedOver.
+// begins, HandleClientGone when the client leaves, and HandleStall once its process has not run for a time.
+// What the fleet decides together comes in by SetOverloadPolicy, SetSuspicion, SetCordon and SetPaused. In a
+// hot restart the next balancer takes over by LearnedState, Restore and SetHandedOver.
 //
 // # Which file answers which question
 //
@@ -47,6 +47,7 @@
 //	latencyprediction.go  Which latency is predicted of an endpoint?
 //	loadprediction.go     Which load is predicted of an endpoint?
 //	latencylearning.go    What does an answer change in the predictions?
+//	stall.go              What does a time for which this process did not run change?
 //	idempotency.go        May a request be sent again, or be rejected, without a second effect?
 //	attempts.go           How many attempts, with which timeout; what does a streamed answer change?
 //	retrybudget.go        Why was there no retry?
--- a/balancer/outcomes.go
+++ b/balancer/outcomes.go
@@ -47,11 +47,15 @@
 		b.servedWork += r.work / max(b.settings.Contract.WarmupStartCapacity, b.effectiveCapacity(now))
 		b.lastServedAt = now
 		e.breaker.record(now, 1, 0)
-		e.breaker.recordLatency(float64(o.Latency))
+		if latency, known := o.chargedLatency(e.breaker.currentLatency); known {
+			e.breaker.recordLatency(latency)
+		}
 		for _, part := range b.trafficParts(r) {
 			e.outliers[part] = outlierStats{}
 		}
-		b.learnLatency(now, r, a, float64(o.Latency), false)
+		if latency, known := o.chargedLatency(a.expectedLatency); known {
+			b.learnLatency(now, r, a, latency, false)
+		}
 	case Cancelled, NotSent:
 	default:
 		e.breaker.record(now, 0, 1)
@@ -59,7 +63,7 @@
 			b.recordFailure(now, e, part)
 		}
 		if o.Status == Timeout {
-			b.learnLatency(now, r, a, float64(o.Latency), true)
+			b.learnLatency(now, r, a, float64(o.Latency-o.Stalled), true)
 		}
 	}
 }
--- /dev/null
+++ b/balancer/stall_test.go
@@ -0,0 +1,75 @@
+package balancer
+
+import (
+	"testing"
+
+	"dunlinsail/internal/monotime"
+)
+
+// serveSome has a balancer learn from answered requests, each after a latency, and returns the instant after the last.
+func serveSome(b *Balancer, r *recorder, now monotime.Micros, count uint64, latency monotime.Micros) monotime.Micros {
+	for range count {
+		now += 5_000
+		id := uint64(now)
+		b.HandleRequest(now, newTestRequest(id, 0, now))
+		if s := r.lastSend(); s.id == id {
+			succeed(b, now+latency, id, s.endpoint, latency)
+		}
+	}
+	return now + latency
+}
+
+// A response that has waited in a stalled process's socket buffer says nothing of its endpoint.
+func TestStallIsNotChargedToEndpoints(t *testing.T) {
+	for _, length := range []monotime.Micros{100 * millisecond, 600 * millisecond, second, 5 * second} {
+		b, r := startBalancer(t, testSettings(), readyEndpoints(4))
+		now := serveSome(b, r, second, 400, 3_000)
+		b.HandleRequest(now, newTestRequest(1, 0, now))
+		waiting := r.lastSend()
+		e := b.endpointsByID[waiting.endpoint]
+		trend := b.latencyTrend
+		work := b.classes[0].meanWork
+		ratio := e.serviceTimeRatio
+		breaker := e.breaker.currentLatency
+		now += length
+		b.HandleStall(now, length)
+		if got := b.predictLatency(now, e, work.value); got > 10_000 {
+			t.Errorf("%d: %v us are predicted right after the stall", length, got)
+		}
+		b.HandleOutcome(now, Outcome{ID: 1, Endpoint: e.ID, Status: OK, Latency: length, Stalled: length,
+			Answered: true})
+		if b.latencyTrend != trend || b.classes[0].meanWork != work || e.serviceTimeRatio != ratio ||
+			e.breaker.currentLatency != breaker {
+			t.Errorf("%d: learned from the stall: trend %v, then %v; work %v, then %v; ratio %v, then %v", length,
+				trend, b.latencyTrend, work, b.classes[0].meanWork, ratio, e.serviceTimeRatio)
+		}
+		first := len(r.sends)
+		for id := range uint64(60) {
+			b.HandleRequest(now, newTestRequest(100+id, 0, now))
+		}
+		if sent := len(r.sends) - first; sent != 60 {
+			t.Errorf("%d: %d of 60 requests sent right after the stall", length, sent)
+		}
+	}
+}
+
+// Of a latency with a stall in it, what is certain still counts: an endpoint that was slow before the stall is slow.
+func TestChargedLatency(t *testing.T) {
+	for _, c := range []struct {
+		latency, stalled monotime.Micros
+		expected, want   float64
+		known            bool
+	}{
+		{latency: 5_000, expected: 3_000, want: 5_000, known: true},
+		{latency: 5_000, expected: 5_000, want: 5_000, known: true},
+		{latency: 5_000, expected: 9_000, want: 5_000, known: true},
+		{latency: 605_000, stalled: 600_000, expected: 30_000},
+		{latency: 605_000, stalled: 600_000, expected: 3_000, want: 5_000, known: true},
+		{latency: 605_000, stalled: 600_000, expected: 700_000, want: 605_000, known: true},
+	} {
+		o := Outcome{Latency: c.latency, Stalled: c.stalled}
+		if got, known := o.chargedLatency(c.expected); got != c.want || known != c.known {
+			t.Errorf("%+v: got %v, %v", c, got, known)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,12 +52,15 @@
 
 // queuedEvent is an event that waits for the core.
 type queuedEvent struct {
-	handle   event
-	postedAt monotime.Micros
+	handle     event
+	postedAt   monotime.Micros
+	deferrable bool // it may wait until the core has caught up after a stall
 }
 
 // queue returns an event as it is sent to the core.
-func (x *Core) queue(e event) queuedEvent { return queuedEvent{e, x.config.Clock.Now()} }
+func (x *Core) queue(e event) queuedEvent {
+	return queuedEvent{handle: e, postedAt: x.config.Clock.Now()}
+}
 
 // Core runs an engine. Make one with New, add pools, and call Run. The engine belongs to the goroutine of Run: all
 // methods pass it events, and are safe for concurrent use unless they say otherwise.
@@ -111,36 +114,21 @@
 	}
 }
 
-// Run handles events and fires the engine's timers until ctx ends. It does not wait for attempts and probes that are in
-// flight then; what they report is dropped.
-func (x *Core) Run(ctx context.Context) {
-	defer close(x.stopped)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		now := x.config.Clock.Now()
-		x.runPendingStarts(now)
-		x.engine.Advance(now)
-		if due, ok := x.engine.Next(); ok {
-			timer.Reset(clock.Duration(due - now))
-		}
-		select {
-		case queued := <-x.events:
-			now = x.config.Clock.Now()
-			x.eventWait = now - queued.postedAt
-			x.runPendingStarts(now)
-			queued.handle(now)
-		case <-timer.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+// post passes an event to the core. Once the core has stopped, the event is dropped.
+func (x *Core) post(e event) { x.postQueued(x.queue(e)) }
+
+// postDeferrable is post for what clients do: it waits until the core has caught up after a stall. All such events keep
+// their order.
+func (x *Core) postDeferrable(e event) {
+	queued := x.queue(e)
+	queued.deferrable = true
+	x.postQueued(queued)
 }
 
-// post passes an event to the core. Once the core has stopped, the event is dropped.
-func (x *Core) post(e event) {
+// postQueued passes a queued event to the core, unless that has stopped.
+func (x *Core) postQueued(queued queuedEvent) {
 	select {
-	case x.events <- x.queue(e):
+	case x.events <- queued:
 	case <-x.stopped:
 	}
 }
--- /dev/null
+++ b/internal/core/loop_test.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"testing"
+
+	"dunlinsail/internal/decide/stall"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/monotime"
+)
+
+const ms = monotime.Millisecond
+
+func TestCatchUpEndsOnceQuiet(t *testing.T) {
+	var c catchUp
+	if c.active(0) {
+		t.Error("active before any stall")
+	}
+	c.start(stall.Interval{From: 400 * ms, To: 1000 * ms})
+	if !c.active(1001*ms) || c.active(1002*ms) {
+		t.Errorf("without events it lasts until %d", c.until)
+	}
+	for now := 1001 * ms; now < 1100*ms; now += ms {
+		c.extend(now)
+	}
+	if c.until != 1020*ms {
+		t.Errorf("with events all the time it lasts until %d", c.until)
+	}
+	c.start(stall.Interval{From: 2000 * ms, To: 2012 * ms})
+	c.extend(2013 * ms)
+	if c.until != 2015*ms {
+		t.Errorf("after a short stall it lasts until %d", c.until)
+	}
+}
+
+// A core that has stalled handles what has come from endpoints before it decides on new requests, and the requests keep
+// their order.
+func TestOutcomesAreHandledBeforeRequestsAfterStall(t *testing.T) {
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	x := p.core
+	stalling := make(chan struct{})
+	release := make(chan struct{})
+	var handled []string // of the core's goroutine
+	note := func(what string) event {
+		return func(monotime.Micros) { handled = append(handled, what) }
+	}
+	x.post(func(now monotime.Micros) {
+		close(stalling)
+		<-release
+		for x.config.Clock.Now() < now+100*ms { // a stall of at least that length
+		}
+	})
+	scriptedpeer.Receive(t, stalling, "the stall")
+	x.postDeferrable(note("request 1"))
+	x.postDeferrable(note("request 2"))
+	x.post(note("response"))
+	close(release)
+	for {
+		got := query(x, func(monotime.Micros) []string { return handled })
+		if len(got) < 3 {
+			continue
+		}
+		if got[0] != "response" || got[1] != "request 1" || got[2] != "request 2" {
+			t.Errorf("handled %q", got)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/decide/stall/detector.go
@@ -0,0 +1,31 @@
+package stall
+
+import "dunlinsail/internal/monotime"
+
+const (
+	// HeartbeatInterval is the longest time that an event loop should wait while it wants stalls to be found: a stall
+	// is found short by up to that time.
+	HeartbeatInterval = 20 * monotime.Millisecond
+
+	// minLength is the lateness from which on a loop counts as stalled. Less is the usual delay of a timer.
+	minLength = 10 * monotime.Millisecond
+)
+
+// Detector finds stalls of an event loop: the loop was due to run at one instant, and ran later. The loop calls Run
+// each time it runs, and WaitUntil before it waits.
+type Detector struct {
+	due     monotime.Micros // instant at which the loop is due to run
+	started bool
+}
+
+// Run notes that the loop runs, and returns the stall that has just ended, if found is true.
+func (d *Detector) Run(now monotime.Micros) (stalled Interval, found bool) {
+	stalled = Interval{From: d.due, To: now}
+	found = d.started && stalled.Length() >= minLength
+	d.started = true
+	d.due = now
+	return stalled, found
+}
+
+// WaitUntil notes that the loop waits until an instant at most.
+func (d *Detector) WaitUntil(instant monotime.Micros) { d.due = max(d.due, instant) }
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -48,7 +48,8 @@
 		Deadline:  c.Request.Deadline,
 	}
 	if timeout > 0 {
-		a.Deadline = min(a.Deadline, x.now+timeout)
+		a.timeoutAt = x.now + timeout
+		a.Deadline = min(a.Deadline, a.timeoutAt)
 	}
 	a.SendBefore = x.pool.balancer.FirstByteDeadline(c.Request.ID)
 	c.attempts = append(c.attempts, a)
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -160,9 +160,12 @@
 
 // observeServiceTime learns from the time that a served request was in flight: the queue its class's service time,
 // and the concurrency limiter whether the limit can grow. limited is set if the limit kept a request waiting
-// meanwhile.
+// meanwhile. A time in which this process has stalled is not known, and is left out.
 func (p *Pool) observeServiceTime(now monotime.Micros, c *Call) {
 	took := now - c.admittedAt
+	if p.engine.stalls.Within(c.admittedAt, now) > 0 {
+		return
+	}
 	class := int(c.Request.Class)
 	p.queue.ObserveServiceTime(class, took)
 	if p.concurrency == nil {
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -40,7 +40,10 @@
 	answered := c.finished
 	x.removeFinished(c)
 	latency := attemptLatency(a, &r)
-	c.Pool.observeOutcome(now, a, r, latency)
+	stalled := x.stalls.Within(r.ObservedAt-latency, r.ObservedAt)
+	charged := r
+	charged.Status = chargedStatus(r.Status, latency, stalled)
+	c.Pool.observeOutcome(now, a, charged, latency-stalled)
 	if o := x.config.Observer; o != nil {
 		o.AttemptEnded(now, a.Endpoint.Name, r.Status, latency)
 	}
@@ -48,8 +51,9 @@
 		ID:            c.Request.ID,
 		Attempt:       a.Number,
 		Endpoint:      a.Endpoint.Number,
-		Status:        r.Status,
+		Status:        charged.Status,
 		Latency:       latency,
+		Stalled:       stalled,
 		Answered:      answered,
 		NotReplayable: c.NotReplayable != nil && c.NotReplayable(),
 		Load:          r.Load,
@@ -77,13 +81,14 @@
 	if a.done {
 		return
 	}
+	stalled := x.stalls.Within(a.StartedAt, now)
 	status := balancer.Timeout
 	if x.config.Host.CancelUnsent(a) {
 		status = balancer.NotSent
-		if now-a.StartedAt >= x.config.Site.Settings.Limits.DialTimeout {
+		if now-a.StartedAt-stalled >= x.config.Site.Settings.Limits.DialTimeout {
 			status = balancer.ConnectFailed
 		}
-	} else {
+	} else if !isInconclusive(now-a.StartedAt, stalled) {
 		x.config.Host.AttemptTimedOut(a)
 	}
 	x.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now})
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -75,7 +75,8 @@
 	HostData   any             // for the host's use
 
 	deadlineTimer *timer
-	done          bool // the balancer has the outcome
+	timeoutAt     monotime.Micros // end of its own timeout, before any stall of this process; 0 is no timeout
+	done          bool            // the balancer has the outcome
 }
 
 // Done reports whether the balancer has the attempt's outcome: what the host still receives for it is dropped.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/indexedheap"
+	"dunlinsail/internal/decide/stall"
 	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
 )
@@ -39,7 +40,9 @@
 	dirtyPools    []*Pool          // whose queues may have decisions due
 	timers        indexedheap.Heap[*timer]
 	timerSequence uint64
-	ready         bool // an endpoint has been ready (Host.EndpointReady)
+	openProbes    int       // started, without an outcome
+	stalls        stall.Log // times for which this process did not run
+	ready         bool      // an endpoint has been ready (Host.EndpointReady)
 }
 
 // New returns an engine without pools.
--- a/internal/engine/probes.go
+++ b/internal/engine/probes.go
@@ -8,6 +8,7 @@
 // Probe requests a load report from an endpoint, if the probe budgets allow it.
 func (x actions) Probe(number uint32) {
 	if e := x.pool.byNumber[number]; e != nil && x.pool.allowProbe(x.now, number) {
+		x.openProbes++
 		x.config.Host.StartProbe(x.pool, e)
 	}
 }
@@ -52,12 +53,19 @@
 // ProbeEnded reports the outcome of a probe that was sent at an instant.
 func (x *Engine) ProbeEnded(now monotime.Micros, p *Pool, e *Endpoint, sentAt monotime.Micros, r AttemptResult) {
 	x.now = now
+	x.openProbes--
+	latency := max(0, r.ObservedAt-sentAt)
 	if o := x.config.Observer; o != nil {
-		o.ProbeEnded(now, e.Name, r.Status, max(0, r.ObservedAt-sentAt))
+		o.ProbeEnded(now, e.Name, r.Status, latency)
+	}
+	stalled := x.stalls.Within(sentAt, r.ObservedAt)
+	if isInconclusive(latency, stalled) {
+		r.Status = balancer.NotSent // its load report is old by now
+		r.Load = nil
 	}
 	p.observeUtilization(e, r.Load)
 	p.observeProbe(now, &r)
-	p.balancer.HandleProbe(now, e.Number, r.Status, max(0, r.ObservedAt-sentAt), r.Load)
+	p.balancer.HandleProbe(now, e.Number, r.Status, latency-stalled, r.Load)
 	x.dispatchQueued(now)
 }
 
--- /dev/null
+++ b/internal/engine/stall_test.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/stall"
+	"dunlinsail/internal/monotime"
+)
+
+// stallLengths are those of the operators' question: what does a stall of this process do?
+var stallLengths = []monotime.Micros{monotime.Second / 10, 6 * monotime.Second / 10, monotime.Second,
+	5 * monotime.Second}
+
+// newBusyEngine returns an engine that has learned that its endpoints answer within 3 ms.
+func newBusyEngine(t *testing.T) (x *Engine, p *Pool, h *recordingHost, now monotime.Micros) {
+	t.Helper()
+	site := tenantSite(0, 1, 0)
+	for i := range site.Settings.Classes {
+		site.Settings.Classes[i].Idempotency = balancer.Idempotent
+	}
+	x, p, h = newEngine(t, site, nil, nil)
+	for i := range monotime.Micros(400) {
+		now = 100_000 + 10_000*i
+		advanceTo(x, now)
+		submit(t, x, p, now, fmt.Sprint("before", i), 1)
+		h.serveAll(x, now+3_000)
+	}
+	return x, p, h, now + 10_000
+}
+
+// Responses that arrived while the process did not run are handled after it: they, and the requests that follow, are
+// decided as if there had been no stall.
+func TestRequestsAfterStallAreServed(t *testing.T) {
+	for _, length := range stallLengths {
+		x, p, h, now := newBusyEngine(t)
+		for i := range 6 {
+			submit(t, x, p, now, fmt.Sprint("during", i), 1)
+		}
+		learned := p.balancer.LearnedState(now)
+		now += length
+		x.Stalled(now, stall.Interval{From: now - length, To: now})
+		h.serveAll(x, now)
+		for i := range 40 {
+			submit(t, x, p, now, fmt.Sprint("after", i), 1)
+		}
+		h.serveAll(x, now+5_000)
+		for id, r := range h.responses {
+			if r.Verdict != Served {
+				t.Errorf("stall of %d: %s ended as %v %s", length, id, r.Verdict, r.Reason)
+			}
+		}
+		after := p.balancer.LearnedState(now)
+		if after.LatencyTrend > 1.5*learned.LatencyTrend {
+			t.Errorf("stall of %d: latency trend %v, then %v", length, learned.LatencyTrend, after.LatencyTrend)
+		}
+	}
+}
+
+// An attempt's own timeout does not run while the process does not.
+func TestTimeoutDoesNotRunDuringStall(t *testing.T) {
+	x, p, h, now := newBusyEngine(t)
+	submit(t, x, p, now, "a", 1)
+	a := h.started[0]
+	if a.timeoutAt == 0 || a.timeoutAt >= a.Call.Request.Deadline {
+		t.Fatalf("the attempt has no timeout of its own: %d", a.timeoutAt)
+	}
+	const length = 60_000
+	timeout := a.timeoutAt
+	now += 10_000
+	x.Stalled(now+length, stall.Interval{From: now, To: now + length})
+	advanceTo(x, timeout+length-1)
+	if a.done {
+		t.Error("the timeout ran during the stall")
+	}
+	advanceTo(x, timeout+length)
+	if !a.done {
+		t.Error("the attempt has not timed out after the stall")
+	}
+}
+
+// An endpoint is not charged with timeouts and failed dials during which the process hardly ran.
+func TestChargedStatus(t *testing.T) {
+	const wait = 900_000
+	for _, c := range []struct {
+		status  balancer.Status
+		stalled monotime.Micros
+		want    balancer.Status
+	}{
+		{balancer.Timeout, 0, balancer.Timeout},
+		{balancer.Timeout, wait / 2, balancer.Timeout},
+		{balancer.Timeout, wait/2 + 1, balancer.Cancelled},
+		{balancer.ConnectFailed, wait/2 + 1, balancer.NotSent},
+		{balancer.OK, wait, balancer.OK},
+		{balancer.Error, wait, balancer.Error},
+	} {
+		if got := chargedStatus(c.status, wait, c.stalled); got != c.want {
+			t.Errorf("%v with %d of %d stalled: %v, want %v", c.status, c.stalled, wait, got, c.want)
+		}
+	}
+}
+
+// A load report that came while the process did not run is old: it is not taken for a new one, and no round trip is
+// learned from it.
+func TestProbeDuringStallIsNoReport(t *testing.T) {
+	x, p, _, now := newBusyEngine(t)
+	e := p.byName["e1"]
+	x.openProbes++
+	x.ProbeEnded(now, p, e, now-500, AttemptResult{Status: balancer.OK, ObservedAt: now})
+	learned := p.balancer.LearnedState(now)
+	x.openProbes++
+	x.Stalled(now+600_000, stall.Interval{From: now, To: now + 600_000})
+	now += 600_000
+	x.ProbeEnded(now, p, e, now-600_100, AttemptResult{Status: balancer.OK, ObservedAt: now})
+	after := p.balancer.LearnedState(now)
+	for i := range learned.Endpoints {
+		if got, want := after.Endpoints[i].RTT, learned.Endpoints[i].RTT; got != want {
+			t.Errorf("round trip %v, then %v", want, got)
+		}
+	}
+	if x.Waiting() {
+		t.Error("the engine waits for endpoints")
+	}
+}
