Reject no request at once by an estimate of work that no answers support

Cause: the work of a class is first taken to be a fifth of its latency objective, and each answer moved that by 2%.

Change: the first estimate counts for ten answers, and all answers alike up to fifty. A new request that is over the budget of a class with fewer answers is tried again with each answer, for a tenth of its latency objective at most, and rejected then.

TestListShrinksToOne, TestLatencyRejectionAdmitsOnePerInterval and TestRejectionsAreLoggedOncePerSecond mean a balancer that knows its endpoints: knowWork says so, their checks stay.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -60,9 +60,19 @@
 	b.meanWork.add(r.work, slowWeight)
 }
 
-// dispatch sends a new request or rejects it, and counts that in the rejected ratio.
+// dispatch sends a new request or rejects it, and counts that in the rejected ratio. It does neither with a
+// request over the latency budget that waits for answers to its class (queueForAnswers).
 func (b *Balancer) dispatch(now monotime.Micros, r *request) {
+	if !r.HasWorkHint {
+		r.work = b.classes[r.Class].meanWork.value // answers may have come while r waited
+	}
 	sent := b.attemptRequest(now, r, true)
+	if r.waiting {
+		if !sent {
+			return
+		}
+		b.stopWaiting(r)
+	}
 	b.rejectedRatio.add(indicator(!sent), ratioWeight)
 	if !sent {
 		b.reject(r)
@@ -93,7 +103,8 @@
 // corrects a prediction that is wrong. The forced admission counts as used, even if a breaker then rejects
 // the attempt. A retry over budget is never admitted.
 //
-// What is not admitted is logged as rejected (logRejection), also a retry, whose request may then fail.
+// What is not admitted is logged as rejected (logRejection), also a retry, whose request may then fail. A new
+// request may wait for answers to its class instead (queueForAnswers).
 func (b *Balancer) admit(now monotime.Micros, r *request, e *endpoint, first bool) bool {
 	expected := b.predictLatency(now, e, r.work)
 	budget := b.latencyBudget(now, r, e)
@@ -105,7 +116,9 @@
 		b.initForcedAdmit(now, c)
 	}
 	if !first || now-c.lastForcedAdmit < b.forcedAdmitInterval(now, c) {
-		b.logRejection(now, r, e, expected, budget)
+		if !r.waiting && !(first && b.queueForAnswers(now, r)) {
+			b.logRejection(now, r, e, expected, budget)
+		}
 		return false
 	}
 	c.lastForcedAdmit = now
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -47,6 +47,7 @@
 //	latencyprediction.go  Which latency is predicted of an endpoint?
 //	loadprediction.go     Which load is predicted of an endpoint?
 //	latencylearning.go    What does an answer change in the predictions?
+//	firstanswers.go       How is the work of a class learned at first; which requests wait for that?
 //	stall.go              What does a time for which this process did not run change?
 //	idempotency.go        May a request be sent again, or be rejected, without a second effect?
 //	attempts.go           How many attempts, with which timeout; what does a streamed answer change?
--- /dev/null
+++ b/balancer/firstanswers_test.go
@@ -0,0 +1,104 @@
+package balancer
+
+import (
+	"testing"
+
+	"dunlinsail/internal/monotime"
+)
+
+// newColdBalancer returns a balancer whose initial estimate of the work of a class is far above what its four
+// endpoints take.
+func newColdBalancer(t *testing.T) (*Balancer, *recorder) {
+	t.Helper()
+	b, r := startBalancer(t, testSettings(), readyEndpoints(4))
+	if got := b.classes[0].meanWork.value; got != 80_000 {
+		t.Fatalf("initial estimate of %v us", got)
+	}
+	return b, r
+}
+
+// answerAll answers all attempts since the first so many within a latency, also those that the answers bring about.
+func answerAll(b *Balancer, r *recorder, now monotime.Micros, first int, latency monotime.Micros) monotime.Micros {
+	for first < len(r.sends) {
+		last := len(r.sends)
+		now += latency
+		for _, s := range r.sends[first:last] {
+			succeed(b, now, s.id, s.endpoint, latency)
+		}
+		first = last
+	}
+	return now
+}
+
+// A new process gets a burst before it has had any answer. Its endpoints are idle and fast: each request is sent
+// within a tenth of its latency objective.
+func TestBurstAtColdProcessIsNotRejected(t *testing.T) {
+	b, r := newColdBalancer(t)
+	now := second
+	for id := range uint64(150) {
+		b.HandleRequest(now, newTestRequest(id, 0, now))
+	}
+	if len(r.rejected) > 0 {
+		t.Errorf("%d requests rejected before any answer", len(r.rejected))
+	}
+	end := answerAll(b, r, now, 0, 3_000)
+	if len(r.sends) != 150 || len(r.rejected) > 0 || end-now > 40_000 {
+		t.Errorf("%d of 150 sent, %d rejected, within %d us", len(r.sends), len(r.rejected), end-now)
+	}
+	if len(b.classes[0].waiting) > 0 {
+		t.Errorf("%d requests still wait", len(b.classes[0].waiting))
+	}
+}
+
+// Where no answer comes, a request over the latency budget waits for a tenth of its objective and is rejected then.
+func TestWaitForAnswersIsBounded(t *testing.T) {
+	b, r := newColdBalancer(t)
+	now := second
+	var delays []monotime.Micros
+	for id := range uint64(60) {
+		first := len(r.timers)
+		b.HandleRequest(now, newTestRequest(id, 0, now))
+		if in := b.requests[id]; in != nil && in.waiting {
+			delays = append(delays, r.delays[len(r.delays)-1])
+			if len(r.timers) != first+1 || r.timers[first] != in.timerToken {
+				t.Fatalf("request %d waits with timers %v", id, r.timers[first:])
+			}
+		}
+	}
+	if len(delays) == 0 || len(delays)+len(r.sends) != 60 {
+		t.Fatalf("%d wait, %d sent", len(delays), len(r.sends))
+	}
+	for _, delay := range delays {
+		if delay != 40_000 {
+			t.Errorf("waits for %d us", delay)
+		}
+	}
+	now += 40_000
+	waiting := append([]*request(nil), b.classes[0].waiting...)
+	for _, in := range waiting {
+		b.HandleTimer(now, in.timerToken)
+	}
+	if len(r.rejected) != len(delays) || len(b.classes[0].waiting) != 0 {
+		t.Errorf("%d rejected of %d that waited; %d still wait", len(r.rejected), len(delays),
+			len(b.classes[0].waiting))
+	}
+}
+
+// The client of a waiting request leaves: nothing of the request is sent, and nothing of it is left.
+func TestClientLeavesWhileRequestWaitsForAnswers(t *testing.T) {
+	b, r := newColdBalancer(t)
+	now := second
+	id := uint64(0)
+	for ; len(b.classes[0].waiting) == 0 && id < 100; id++ {
+		b.HandleRequest(now, newTestRequest(id, 0, now))
+	}
+	gone := b.classes[0].waiting[0]
+	b.HandleClientGone(now, gone.ID)
+	sends := len(r.sends)
+	answerAll(b, r, now, 0, 3_000)
+	b.HandleTimer(now+40_000, gone.timerToken)
+	if len(r.sends) != sends || len(b.requests) != 0 || len(b.classes[0].waiting) != 0 {
+		t.Errorf("%d sent after the client left, %d open, %d wait", len(r.sends)-sends, len(b.requests),
+			len(b.classes[0].waiting))
+	}
+}
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -114,6 +114,7 @@
 // rejected at once. When the other endpoints are listed again, they are used again.
 func TestListShrinksToOne(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(20))
+	knowWork(b)
 	b.UpdateEndpoints(second, ListFull, readyEndpoints(1))
 	now := second
 	for i := range uint64(200) {
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -134,6 +134,13 @@
 	return b, r
 }
 
+// knowWork has the balancer take the initial estimates of the work of classes as learned.
+func knowWork(b *Balancer) {
+	for i := range b.classes {
+		b.classes[i].meanWork.samples = manySamples
+	}
+}
+
 // reportLoad ends a probe of an endpoint with a load report of one figure.
 func reportLoad(b *Balancer, now monotime.Micros, id uint32, load float32) {
 	b.HandleProbe(now, id, OK, 500, []float32{load})
--- a/balancer/latencylearning.go
+++ b/balancer/latencylearning.go
@@ -48,7 +48,7 @@
 	if r.HasWorkHint {
 		b.fleetServiceTimeRatio.add(observed, slowWeight)
 	} else {
-		b.classes[r.Class].meanWork.add(observed*r.work/known, slowWeight)
+		b.classes[r.Class].learnMeanWork(observed * r.work / known)
 	}
 }
 
--- a/balancer/outcomes.go
+++ b/balancer/outcomes.go
@@ -25,7 +25,9 @@
 		r.onTime = 1
 	}
 	if o.Answered || o.Status == OK || r.finished {
+		class := r.Class
 		b.finishRequest(r)
+		b.dispatchWaiting(now, class)
 		return
 	}
 	if r.inflight > 0 {
@@ -80,9 +82,13 @@
 // onRequestTimer handles a request that has waited long enough for probes, or that has reached its deadline.
 // In the first case all queued requests are dispatched, not only this one.
 func (b *Balancer) onRequestTimer(now monotime.Micros, r *request) {
-	if r.queued {
+	switch {
+	case r.queued:
 		b.dispatchQueued(now)
-	} else if now >= r.Deadline {
+	case r.waiting:
+		b.stopWaiting(r)
+		b.dispatch(now, r)
+	case now >= r.Deadline:
 		b.reject(r)
 	}
 }
@@ -97,6 +103,9 @@
 		if r.queued {
 			b.removeFromQueue(r)
 		}
+		if r.waiting {
+			b.stopWaiting(r)
+		}
 		b.cancelAttempts(r, -1)
 	}
 	if r.inflight == 0 && b.requests[r.ID] == r {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -116,6 +116,7 @@
 // A wrong estimate of a class's work must not reject that class for ever.
 func TestLatencyRejectionAdmitsOnePerInterval(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
+	knowWork(b)
 	b.classes[0].meanWork.value = float64(100 * second)
 	for i := range uint64(30) {
 		now := 10*second + monotime.Micros(i)*second/10
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -26,6 +26,8 @@
 	attempts     []attempt
 	inflight     int     // attempts without outcome
 	queued       bool    // waits for probes
+	waiting      bool    // waits for answers to its class (queueForAnswers)
+	hasWaited    bool    // it waits for answers only once
 	finished     bool    // has its final answer
 	streaming    bool    // an answer is being streamed: the client has that attempt
 	onTime       float64 // 1 once answered within the latency objective, else 0
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -152,6 +152,7 @@
 // The log has why requests are rejected, in one line per second and not in thousands.
 func TestRejectionsAreLoggedOncePerSecond(t *testing.T) {
 	b, r := startBalancer(t, testSettings(), readyEndpoints(1))
+	knowWork(b)
 	reportLoad(b, 1000, 1, 50)
 	for id := range uint64(200) {
 		now := second + 5000*monotime.Micros(id)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -84,6 +84,7 @@
 	requestRate     rateMeter       // requests per second
 	onTimeRatio     ewma            // of the requests, answered within the latency objective, 0 to 1
 	lastForcedAdmit monotime.Micros // instant of the latest request that was sent although over budget
+	waiting         []*request      // those that wait for answers to the class (queueForAnswers)
 }
 
 const (
