Let the latency trend lower predictions as it raises them

What callers saw: 503 while every endpoint was idle, in bursts within some hundred requests of a process's start.

Change: below 1/1.5 it lowers predictions in the same way. The trend compares answers with predictions that have it in them, so that it settles where they agree.

--- a/balancer/firstanswers_test.go
+++ b/balancer/firstanswers_test.go
@@ -102,3 +102,26 @@
 			len(b.classes[0].waiting))
 	}
 }
+
+// A class that has had few answers in a process's first second is predicted by them, whether the endpoints are faster
+// or slower than the initial estimate says.
+func TestFirstAnswersCorrectTheInitialEstimate(t *testing.T) {
+	const answers = 60
+	for _, latency := range []monotime.Micros{3_000, 30_000, 200_000} {
+		b, r := newColdBalancer(t)
+		now := second
+		for id := range uint64(answers) {
+			now += 20_000
+			b.HandleRequest(now, newTestRequest(id, 0, now))
+			if s := r.lastSend(); s.id == id {
+				now += latency
+				succeed(b, now, id, s.endpoint, latency)
+			}
+		}
+		e := b.endpoints[0]
+		predicted := b.predictLatency(now, e, b.classes[0].meanWork.value)
+		if ratio := predicted / float64(latency); ratio > 3 || ratio < 1.0/3 {
+			t.Errorf("after %d answers of %d us each, %v us are predicted", answers, latency, predicted)
+		}
+	}
+}
--- a/balancer/latencyprediction.go
+++ b/balancer/latencyprediction.go
@@ -42,9 +42,15 @@
 	return (fleet + (e.serviceTimeRatio.value-fleet)*trust) / e.capacityFraction(now, b)
 }
 
-// trendNoise is the latency trend up to which a slowdown may be chance.
+// trendNoise is the latency trend up to which a slowdown may be chance, and its inverse that down to which a
+// speedup may be.
 const trendNoise = 1.5
 
-// fleetSlowdown returns by which factor (1 or more) all endpoints are slower than predicted, beyond what
-// chance makes of the latency trend.
-func (b *Balancer) fleetSlowdown() float64 { return max(1, b.latencyTrend/trendNoise) }
+// fleetSlowdown returns by which factor all endpoints are slower than predicted, or faster (less than 1),
+// beyond what chance makes of the latency trend.
+func (b *Balancer) fleetSlowdown() float64 {
+	if b.latencyTrend < 1/trendNoise {
+		return b.latencyTrend * trendNoise
+	}
+	return max(1, b.latencyTrend/trendNoise)
+}
