Look at more endpoints before a request is rejected for two random ones

What callers saw: now and then a 503 within 0.3 ms, while one endpoint held a request that it never answered and three were idle.

Cause: without recent load reports a request is decided between two random endpoints, drawn with replacement: of four, one in sixteen requests drew the stuck one twice and was rejected.

Test: TestStuckEndpointDrawnTwiceRejectsNothing fails without it at the fourth request.

--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -103,11 +103,16 @@
 }
 
 // scan considers all endpoints in turn, from a random one on, until one may be used: where few may, random
-// draws do not find them. It draws the start in each search, also if there is a best endpoint already.
+// draws do not find them. If the best one so far is over the latency budget, maxRandomDraws are considered:
+// the draws may have found only the one endpoint that is slow. It draws the start in each search, also if
+// there is a best endpoint already.
 func (s *candidateSearch) scan() {
 	count := len(s.b.endpoints)
 	start := s.b.random.index(count)
-	for i := 0; s.best == nil && i < count; i++ {
+	for i := 0; i < count && (s.best == nil || i < maxRandomDraws && s.bestIsOverBudget()); i++ {
 		s.consider(s.b.endpoints[(start+i)%count])
 	}
 }
+
+// bestIsOverBudget reports whether even the best endpoint so far is over the latency budget.
+func (s *candidateSearch) bestIsOverBudget() bool { return s.b.isOverBudget(s.now, s.request, s.best) }
--- a/balancer/latencybudget.go
+++ b/balancer/latencybudget.go
@@ -24,6 +24,11 @@
 	return min(idle+fraction*remaining, float64(r.Deadline-now))
 }
 
+// isOverBudget reports whether the latency that is predicted for r at e is over the latency budget.
+func (b *Balancer) isOverBudget(now monotime.Micros, r *request, e *endpoint) bool {
+	return b.predictLatency(now, e, r.work) > b.latencyBudget(now, r, e)
+}
+
 // QueueWaitFraction returns which part (0 to 1) of what remains of its latency objective a request may wait
 // in the host's queue. It is the part that latencyBudget allows for queueing at an endpoint while load
 // reports are in time; while they are late it stays the same here, and is 1 there. An unknown class gets the
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -399,3 +399,24 @@
 		}
 	}
 }
+
+// One of four idle endpoints is stuck with a request. Without load reports two random endpoints are compared, which may
+// be the same one twice: a request is not rejected for that while others are idle.
+func TestStuckEndpointDrawnTwiceRejectsNothing(t *testing.T) {
+	s := testSettings()
+	s.Limits.Probes = false
+	b, r := startBalancer(t, s, readyEndpoints(4))
+	now := serveSome(b, r, second, 400, 3_000)
+	b.HandleRequest(now, newTestRequest(1, 0, now))
+	stuck := r.lastSend().endpoint
+	now += 350 * millisecond
+	for id := range uint64(200) {
+		now += 5_000
+		b.HandleRequest(now, newTestRequest(10+id, 0, now))
+		s := r.lastSend()
+		if s.id != 10+id || s.endpoint == stuck {
+			t.Fatalf("request %d: sent to %d, with %d stuck; %d rejected", id, s.endpoint, stuck, len(r.rejected))
+		}
+		succeed(b, now+3_000, s.id, s.endpoint, 3_000)
+	}
+}
