Simulator: a frozen instance notices its stall as the event loop does

Need: the simulator's instances were stopped and went on without a word to the engine, so that no scenario showed what a stall does now.

Change: the first event after a freeze notifies the engine of it (Engine.Stalled); what clients did meanwhile is handled after all else, as in package core.

--- a/internal/simulation/instance.go
+++ b/internal/simulation/instance.go
@@ -23,6 +23,8 @@
 	down        bool
 
 	frozenUntil     monotime.Micros // the process is stopped until then
+	stalled         bool            // it was stopped, and the engine has not been notified of it
+	stalledFrom     monotime.Micros // the instance's instant at which it was stopped
 	discoveryBlocks int             // causes that block discovery's events
 	heldEvents      []*watchEvent   // events that arrived while blocked
 
@@ -172,6 +174,7 @@
 	in.down = false
 	in.wakeupAt = 0
 	in.frozenUntil = 0
+	in.stalled = false
 	in.heldEvents = nil
 	in.pool.Start(in.localTime())
 	in.engine.StartCoordination(in.localTime())
--- a/internal/simulation/plannedevents.go
+++ b/internal/simulation/plannedevents.go
@@ -217,7 +217,7 @@
 		until, frozen := h.Frozen(r.now)
 		for _, n := range h.Instances {
 			if frozen {
-				r.instances[n].frozenUntil = max(r.instances[n].frozenUntil, until)
+				r.instances[n].freeze(until)
 			}
 		}
 		if h.Every > 0 {
