--- a/balancer/firstanswers_test.go
+++ b/balancer/firstanswers_test.go
@@ -6,9 +6,9 @@
 	"dunlinsail/internal/monotime"
 )
 
-// newColdBalancer returns a balancer whose initial estimate of the work of a class is far above what its four
+// newBalancerWithoutAnswers returns a balancer whose initial estimate of the work of a class is far above what its four
 // endpoints take.
-func newColdBalancer(t *testing.T) (*Balancer, *recorder) {
+func newBalancerWithoutAnswers(t *testing.T) (*Balancer, *recorder) {
 	t.Helper()
 	b, r := startBalancer(t, testSettings(), readyEndpoints(4))
 	if got := b.classes[0].meanWork.value; got != 80_000 {
@@ -32,8 +32,8 @@
 
 // A new process gets a burst before it has had any answer. Its endpoints are idle and fast: each request is sent
 // within a tenth of its latency objective.
-func TestBurstAtColdProcessIsNotRejected(t *testing.T) {
-	b, r := newColdBalancer(t)
+func TestBurstAtNewProcessIsNotRejected(t *testing.T) {
+	b, r := newBalancerWithoutAnswers(t)
 	now := second
 	for id := range uint64(150) {
 		b.HandleRequest(now, newTestRequest(id, 0, now))
@@ -52,7 +52,7 @@
 
 // Where no answer comes, a request over the latency budget waits for a tenth of its objective and is rejected then.
 func TestWaitForAnswersIsBounded(t *testing.T) {
-	b, r := newColdBalancer(t)
+	b, r := newBalancerWithoutAnswers(t)
 	now := second
 	var delays []monotime.Micros
 	for id := range uint64(60) {
@@ -86,7 +86,7 @@
 
 // The client of a waiting request leaves: nothing of the request is sent, and nothing of it is left.
 func TestClientLeavesWhileRequestWaitsForAnswers(t *testing.T) {
-	b, r := newColdBalancer(t)
+	b, r := newBalancerWithoutAnswers(t)
 	now := second
 	id := uint64(0)
 	for ; len(b.classes[0].waiting) == 0 && id < 100; id++ {
@@ -108,7 +108,7 @@
 func TestFirstAnswersCorrectTheInitialEstimate(t *testing.T) {
 	const answers = 60
 	for _, latency := range []monotime.Micros{3_000, 30_000, 200_000} {
-		b, r := newColdBalancer(t)
+		b, r := newBalancerWithoutAnswers(t)
 		now := second
 		for id := range uint64(answers) {
 			now += 20_000
