--- a/cmd/simhost/golden_test.go
+++ b/cmd/simhost/golden_test.go
@@ -169,8 +169,8 @@
 	return records
 }
 
-// The replies of the simhost of commit 870f4ac to scripted input, as hashes: decisions and the wire's form. The texts
-// of trace records are left out. The file is not written anew for a change that should alter neither.
+// The replies of simhost to scripted input, as hashes: decisions and the wire's form. The texts
+// of trace records are left out. The file is written anew only by a change that means to alter decisions.
 func TestRepliesAreUnchanged(t *testing.T) {
 	golden, err := os.ReadFile("testdata/replies.golden")
 	if err != nil {
