Take back the wider search in long lists, and the core's second queue

Change: the search goes on only in lists of eight endpoints at most, where TestStuckEndpointDrawnTwiceRejectsNothing holds; the core has its one queue and the deferred events of again.

Measured: the tests of balancer, engine, core and simhost pass.

--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -103,13 +103,14 @@
 }
 
 // scan considers all endpoints in turn, from a random one on, until one may be used: where few may, random
-// draws do not find them. If the best one so far is over the latency budget, maxRandomDraws are considered:
-// the draws may have found only the one endpoint that is slow. It draws the start in each search, also if
-// there is a best endpoint already.
+// draws do not find them. In a list of maxRandomDraws endpoints at most it goes on while the best one is over
+// the latency budget: the draws may have found the same slow endpoint twice. In a long list that would have
+// many balancers follow the same averages. It draws the start in each search, also if there is a best one.
 func (s *candidateSearch) scan() {
 	count := len(s.b.endpoints)
 	start := s.b.random.index(count)
-	for i := 0; i < count && (s.best == nil || i < maxRandomDraws && s.bestIsOverBudget()); i++ {
+	isSmall := count <= maxRandomDraws
+	for i := 0; i < count && (s.best == nil || isSmall && s.bestIsOverBudget()); i++ {
 		s.consider(s.b.endpoints[(start+i)%count])
 	}
 }
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -66,12 +66,12 @@
 		HostData:      c,
 		NotReplayable: c.NotReplayable,
 	}
-	x.postClientEvent(func(now monotime.Micros) { x.engine.Submit(now, &c.call) })
+	x.postDeferrable(func(now monotime.Micros) { x.engine.Submit(now, &c.call) })
 }
 
 // ClientGone reports that the client of a request has gone (engine.Engine.ClientGone).
 func (x *Core) ClientGone(c *Call) {
-	x.postClientEvent(func(now monotime.Micros) { x.engine.ClientGone(now, &c.call) })
+	x.postDeferrable(func(now monotime.Micros) { x.engine.ClientGone(now, &c.call) })
 }
 
 // SetClientSpec changes a client's spec, or returns an error if that is invalid. Open requests are not affected.
--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -16,11 +16,12 @@
 )
 
 // catchUp is the time right after a stall. What endpoints sent meanwhile is still in this process's socket buffers: it
-// is handled first, while what clients do waits and no timer fires. Otherwise requests would be decided by attempts
+// is handled first, while new requests are deferred and no timer fires. Otherwise requests would be decided by attempts
 // in flight that have long been answered.
 type catchUp struct {
-	until monotime.Micros // instant at which it ends
-	limit monotime.Micros // instant up to which until may be extended
+	until    monotime.Micros // instant at which it ends
+	limit    monotime.Micros // instant up to which until may be extended
+	deferred []queuedEvent
 }
 
 // start begins to catch up at the end of a stall.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,8 +52,9 @@
 
 // queuedEvent is an event that waits for the core.
 type queuedEvent struct {
-	handle   event
-	postedAt monotime.Micros
+	handle     event
+	postedAt   monotime.Micros
+	deferrable bool // it may wait until the core has caught up after a stall
 }
 
 // queue returns an event as it is sent to the core.
@@ -67,12 +68,11 @@
 	config       Config
 	engine       *engine.Engine
 	events       chan queuedEvent
-	clientEvents chan queuedEvent // what clients do, in order: handled only while there is no other event
-	eventWait    monotime.Micros  // of the event that is handled now; only the goroutine of Run uses it
-	stopped      chan struct{}    // closed once no event is handled any more
-	ready        atomic.Bool      // an endpoint has been ready
-	readySignal  chan struct{}    // closed once ready is set
-	awaitingPlan atomic.Bool      // no maintenance plan is known yet: nothing is sent to any endpoint
+	eventWait    monotime.Micros // of the event that is handled now; only the goroutine of Run uses it
+	stopped      chan struct{}   // closed once no event is handled any more
+	ready        atomic.Bool     // an endpoint has been ready
+	readySignal  chan struct{}   // closed once ready is set
+	awaitingPlan atomic.Bool     // no maintenance plan is known yet: nothing is sent to any endpoint
 
 	mu            sync.Mutex
 	pendingStarts []event // of new pools, handled before any event that is posted later
@@ -81,11 +81,10 @@
 // New returns a core without pools.
 func New(c Config) *Core {
 	x := &Core{
-		config:       c,
-		events:       make(chan queuedEvent, eventQueueLength),
-		clientEvents: make(chan queuedEvent, eventQueueLength),
-		stopped:      make(chan struct{}),
-		readySignal:  make(chan struct{}),
+		config:      c,
+		events:      make(chan queuedEvent, eventQueueLength),
+		stopped:     make(chan struct{}),
+		readySignal: make(chan struct{}),
 	}
 	x.engine = engine.New(engine.Config{
 		Site:         c.Site,
@@ -116,16 +115,20 @@
 }
 
 // post passes an event to the core. Once the core has stopped, the event is dropped.
-func (x *Core) post(e event) { x.postTo(x.events, e) }
-
-// postClientEvent is post for what clients do: a request is decided once all that is known of earlier ones has been
-// handled. These events keep their order among themselves.
-func (x *Core) postClientEvent(e event) { x.postTo(x.clientEvents, e) }
+func (x *Core) post(e event) { x.postQueued(x.queue(e)) }
+
+// postDeferrable is post for what clients do: it waits until the core has caught up after a stall. All such events keep
+// their order.
+func (x *Core) postDeferrable(e event) {
+	queued := x.queue(e)
+	queued.deferrable = true
+	x.postQueued(queued)
+}
 
-// postTo passes an event to one of the core's queues. Once the core has stopped, the event is dropped.
-func (x *Core) postTo(queue chan<- queuedEvent, e event) {
+// postQueued passes a queued event to the core, unless that has stopped.
+func (x *Core) postQueued(queued queuedEvent) {
 	select {
-	case queue <- x.queue(e):
+	case x.events <- queued:
 	case <-x.stopped:
 	}
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,7 +16,6 @@
 	timer    *time.Timer
 	detector stall.Detector
 	catchUp  catchUp
-	held     *queuedEvent // of a client; handled once the core has caught up
 }
 
 // Run handles events and fires the engine's timers until ctx ends. It does not wait for attempts and probes that are in
@@ -29,30 +28,19 @@
 	}
 }
 
-// step fires what is due and handles the next event, if one comes before the next timer. What clients do comes after
-// all other events: a request is decided by what has become of those before it. It returns false once ctx has ended.
+// step fires what is due and handles the next event, if one comes before the next timer. It returns false once ctx has
+// ended.
 func (l *loop) step(ctx context.Context) bool {
 	now := l.now()
 	l.runPendingStarts(now)
-	clientEvents := l.clientEvents
-	if l.catchUp.active(now) {
-		clientEvents = nil // they wait
-	} else {
-		l.handleHeld()
+	if !l.catchUp.active(now) {
+		l.handleDeferred(now)
 		l.engine.Advance(now)
 	}
-	select {
-	case queued := <-l.events:
-		l.handle(queued)
-		return true
-	default:
-	}
 	l.waitUntil(now, l.nextWakeup(now))
 	select {
 	case queued := <-l.events:
 		l.handle(queued)
-	case queued := <-clientEvents:
-		l.handleClientEvent(queued)
 	case <-l.timer.C:
 	case <-ctx.Done():
 		return false
@@ -105,28 +93,29 @@
 	}
 }
 
-// handle handles an event.
+// handle handles an event, or defers it until the loop has caught up.
 func (l *loop) handle(queued queuedEvent) {
 	now := l.now()
 	l.catchUp.extend(now)
 	l.runPendingStarts(now)
-	l.eventWait = now - queued.postedAt
-	queued.handle(now)
-}
-
-// handleClientEvent handles an event of a client, or holds it if the process has just stalled.
-func (l *loop) handleClientEvent(queued queuedEvent) {
-	if now := l.now(); l.catchUp.active(now) {
-		l.held = &queued
+	if queued.deferrable && l.catchUp.active(now) {
+		l.catchUp.deferred = append(l.catchUp.deferred, queued)
 		return
 	}
-	l.handle(queued)
+	l.handleNow(now, queued)
+}
+
+// handleNow handles an event.
+func (l *loop) handleNow(now monotime.Micros, queued queuedEvent) {
+	l.eventWait = now - queued.postedAt
+	queued.handle(now)
 }
 
-// handleHeld handles the event that was held, if there is one.
-func (l *loop) handleHeld() {
-	if held := l.held; held != nil {
-		l.held = nil
-		l.handle(*held)
+// handleDeferred handles the events that were deferred, in their order.
+func (l *loop) handleDeferred(now monotime.Micros) {
+	deferred := l.catchUp.deferred
+	l.catchUp.deferred = nil
+	for _, queued := range deferred {
+		l.handleNow(now, queued)
 	}
 }
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -51,8 +51,8 @@
 		}
 	})
 	scriptedpeer.Receive(t, stalling, "the stall")
-	x.postClientEvent(note("request 1"))
-	x.postClientEvent(note("request 2"))
+	x.postDeferrable(note("request 1"))
+	x.postDeferrable(note("request 2"))
 	x.post(note("response"))
 	close(release)
 	for {
