--- a/internal/daemon/client_processes_test.go
+++ b/internal/daemon/client_processes_test.go
@@ -149,9 +149,7 @@
 	}
 	second := spawn(t, "daemon", text)
 	scriptedpeer.Receive(t, second.lines, "the second daemon")
-	if err := scriptedpeer.Receive(t, first.ended, "end of the first daemon"); err != nil {
-		t.Errorf("the first daemon ended with %v", err)
-	}
+	checkEnded(t, first.ended, "end of the first daemon")
 	drained := w.entry(5)
 	drained.Lifecycle = "draining"
 	w.discovery.Set(drained)
@@ -159,9 +157,7 @@
 	w.endpoints[4].Close() // dies, which discovery does not know yet
 	gone := w.entry(4)
 	third := start(t, c)
-	if err := scriptedpeer.Receive(t, second.ended, "end of the second daemon"); err != nil {
-		t.Errorf("the second daemon ended with %v", err)
-	}
+	checkEnded(t, second.ended, "end of the second daemon")
 	gone.Lifecycle = "removed"
 	w.discovery.Set(gone)
 
@@ -282,9 +278,7 @@
 	if after := heapBytes(); after > heap+1<<20 {
 		t.Errorf("%d bytes of heap before, %d after", heap, after)
 	}
-	if resp, _ := warm.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Errorf("another client: %s", resp.Status)
-	}
+	warm.checkServed(t, "another client")
 }
 
 // killClients starts client processes that each stop at another point of a request, and kills them once one request is
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -80,9 +80,7 @@
 				k.checkClosed(t, "the connection of no client")
 				return
 			}
-			if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-				t.Fatalf("%s", resp.Status)
-			}
+			k.requireServed(t)
 			for _, usage := range d.clients.usage() {
 				counted := strings.HasPrefix(usage.Client, tc.want) && usage.Client != "each"
 				if usage.Connections == 1 && !counted {
@@ -110,9 +108,7 @@
 	var open []*clientConn
 	for range 2 {
 		k := dial(t, "tcp", d.addrs["desk"])
-		if _, err := io.WriteString(k, request("pay", 5000, strings.Repeat("x", 40<<10))); err != nil {
-			t.Fatal(err)
-		}
+		k.send(t, request("pay", 5000, strings.Repeat("x", 40<<10)))
 		open = append(open, k)
 	}
 	scriptedpeer.Eventually(t, "two open", func() bool { return d.pools[""].endpoints.Counts().InFlight == 2 })
@@ -126,9 +122,7 @@
 	if resp.StatusCode != 503 || !strings.Contains(body, "bytes") || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("over bytes_held: %s %q, Retry-After %q", resp.Status, body, resp.Header.Get("Retry-After"))
 	}
-	if resp, _ := dial(t, "unix", d.addrs["local"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Errorf("another client beside it: %s", resp.Status)
-	}
+	dial(t, "unix", d.addrs["local"]).checkServed(t, "another client beside it")
 	close(hold)
 	for _, k := range open {
 		if resp, _ := k.answer(t); resp.StatusCode != 200 {
@@ -167,12 +161,10 @@
 	hold := make(chan struct{})
 	w := newTestFleet(t, 1, endpoint.Options{})
 	taken := make(chan struct{}, 1)
-	w.endpoints[0].SetFaults(holdRequests("", taken, hold))
+	w.holdRequests("", taken, hold)
 	d := start(t, w.config(t))
 	k, silent := dial(t, "tcp", d.addrs["desk"]), dial(t, "tcp", d.addrs["desk"])
-	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
-		t.Fatal(err)
-	}
+	k.send(t, request("pay", 5000, ""))
 	scriptedpeer.Receive(t, taken, "attempt")
 	d.stop()
 	silent.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
@@ -183,9 +175,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("%s, close %v", resp.Status, resp.Close)
 	}
-	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end")
 	for _, path := range []string{"/clients.sock", "/takeover.sock"} {
 		if _, err := os.Lstat(w.dir + path); !os.IsNotExist(err) {
 			t.Errorf("%s was left behind: %v", path, err)
@@ -199,17 +189,13 @@
 	defer close(hold)
 	w := newTestFleet(t, 1, endpoint.Options{})
 	taken := make(chan struct{}, 1)
-	w.endpoints[0].SetFaults(holdRequests("", taken, hold))
+	w.holdRequests("", taken, hold)
 	d := start(t, w.config(t, `drain_within = "3s"`, `drain_within = "400ms"`, `give_up = "1s"`, `give_up = "20s"`))
 	k := dial(t, "tcp", d.addrs["desk"])
-	if _, err := io.WriteString(k, request("pay", 20000, "")); err != nil {
-		t.Fatal(err)
-	}
+	k.send(t, request("pay", 20000, ""))
 	scriptedpeer.Receive(t, taken, "attempt")
 	d.stop()
-	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end")
 }
 
 // A file that changes while the daemon serves changes clients' bounds and the discovery; one that makes no sense
@@ -223,9 +209,7 @@
 	defer one.Close()
 	d := start(t, w.config(t))
 	k := dial(t, "unix", d.addrs["local"])
-	if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Fatal(resp.Status)
-	}
+	k.requireServed(t)
 	d.reload <- syscall.SIGHUP
 	d.next <- nil
 	slow := "per_process = true\nrequests_per_second = 0.001\nburst = 1"
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -40,9 +40,7 @@
 	var open []*clientConn
 	for _, class := range []string{"book", "pay"} {
 		k := dial(t, "unix", strings.TrimPrefix(c.Listeners[1].Address, "unix:"))
-		if _, err := io.WriteString(k, request(class, 900, "x")); err != nil {
-			t.Fatal(err)
-		}
+		k.send(t, request(class, 900, "x"))
 		scriptedpeer.Receive(t, held, "attempt")
 		open = append(open, k)
 	}
@@ -76,9 +74,7 @@
 	d := start(t, w.config(t, "[connections]\n", "[connections]\nclients = 40\nat_rest = 30\n",
 		"name = \"desk\"\n[[client]]", "name = \"desk\"\nconnections = 10\n[[client]]"))
 	other := dial(t, "unix", d.addrs["local"])
-	if resp, _ := other.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Fatal(resp.Status)
-	}
+	other.requireServed(t)
 	var sits []net.Conn
 	for range 25 {
 		c, err := net.Dial("tcp", d.addrs["desk"])
@@ -98,15 +94,11 @@
 		if resp, _ := other.request(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
 			t.Errorf("another client: %s, close %v", resp.Status, resp.Close)
 		}
-		if resp, _ := dial(t, "unix", d.addrs["local"]).request(t, request("look", 900, "")); resp.StatusCode != 200 {
-			t.Errorf("another client's new connection: %s", resp.Status)
-		}
+		dial(t, "unix", d.addrs["local"]).checkServed(t, "another client's new connection")
 	}
 	last := &clientConn{Conn: sits[24]}
 	last.r = readerOf(last.Conn)
-	if resp, _ := last.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Errorf("its own latest connection: %s", resp.Status)
-	}
+	last.checkServed(t, "its own latest connection")
 }
 
 // Slow readers on every connection of one client, each with the largest response that may be, do not delay another
--- a/internal/daemon/generations_test.go
+++ b/internal/daemon/generations_test.go
@@ -26,18 +26,12 @@
 	d := start(t, was)
 	atRest, unix, inUse := dial(t, "tcp", addr), dial(t, "unix", d.addrs["local"]), dial(t, "tcp", addr)
 	for _, k := range []*clientConn{atRest, unix} {
-		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-			t.Fatal(resp.Status)
-		}
+		k.requireServed(t)
 	}
 	held, hold := make(chan struct{}, 8), make(chan struct{})
-	for _, e := range w.endpoints {
-		e.SetFaults(holdRequests("/pay/1", held, hold))
-	}
+	w.holdRequests("/pay/1", held, hold)
 	report := w.startLosslessLoad(t, addr)
-	if _, err := io.WriteString(inUse, request("pay", 900, "x")); err != nil {
-		t.Fatal(err)
-	}
+	inUse.send(t, request("pay", 900, "x"))
 	scriptedpeer.Receive(t, held, "an open request")
 	old, more := moreListener(freeAddr(t))
 	var last *generation
@@ -116,11 +110,9 @@
 	addr := freeAddr(t)
 	d := start(t, w.config(t, "127.0.0.1:0", addr))
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
-	w.endpoints[0].SetFaults(holdRequests("", taken, hold))
+	w.holdRequests("", taken, hold)
 	k := dial(t, "tcp", addr)
-	if _, err := io.WriteString(k, request("pay", 5000, "")); err != nil {
-		t.Fatal(err)
-	}
+	k.send(t, request("pay", 5000, ""))
 	scriptedpeer.Receive(t, taken, "attempt")
 	silent := scripteddiscovery.New(t)
 	d.reload <- nil
@@ -141,7 +133,5 @@
 	if _, err := k.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("its connection: %v, want it closed", err)
 	}
-	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end")
 }
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -169,15 +169,17 @@
 	return old, "[[listener]]\nname = \"more\"\naddress = \"" + address + "\"\nclient = \"desk\"\n" + old
 }
 
-// holdRequests returns the faults of an endpoint that reports requests for a path on held, and answers them once hold
-// is closed. An empty path is every path.
-func holdRequests(path string, held chan<- struct{}, hold <-chan struct{}) func(*http.Request) endpoint.Fault {
-	return func(r *http.Request) endpoint.Fault {
-		if path == "" || r.URL.Path == path {
-			held <- struct{}{}
-			<-hold
-		}
-		return endpoint.NoFault
+// holdRequests has the endpoints report requests for a path on held, and answer them once hold is closed. An empty path
+// is every path.
+func (w *testFleet) holdRequests(path string, held chan<- struct{}, hold <-chan struct{}) {
+	for _, e := range w.endpoints {
+		e.SetFaults(func(r *http.Request) endpoint.Fault {
+			if path == "" || r.URL.Path == path {
+				held <- struct{}{}
+				<-hold
+			}
+			return endpoint.NoFault
+		})
 	}
 }
 
@@ -324,23 +326,25 @@
 	return &clientConn{c, bufio.NewReader(c)}
 }
 
-// request sends a request and returns the complete response.
-func (k *clientConn) request(t *testing.T, text string) (*http.Response, string) {
+// send sends a text without waiting for a response.
+func (k *clientConn) send(t *testing.T, text string) {
 	t.Helper()
 	if _, err := io.WriteString(k, text); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// request sends a request and returns the complete response.
+func (k *clientConn) request(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	k.send(t, text)
 	return k.answer(t)
 }
 
 // answer reads the next response completely.
 func (k *clientConn) answer(t *testing.T) (*http.Response, string) {
 	t.Helper()
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(k.r, nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
+	resp := k.readHead(t)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Fatalf("the answer is not complete: %v", err)
@@ -348,6 +352,17 @@
 	return resp, string(body)
 }
 
+// readHead reads the head of the next response. The response's body is left to the caller.
+func (k *clientConn) readHead(t *testing.T) *http.Response {
+	t.Helper()
+	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
+	resp, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return resp
+}
+
 func readerOf(c net.Conn) *bufio.Reader { return bufio.NewReader(c) }
 
 func isTimeout(err error) bool {
--- a/internal/daemon/pool_changes_test.go
+++ b/internal/daemon/pool_changes_test.go
@@ -11,7 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/webapp"
@@ -51,11 +50,7 @@
 	d, addr := routed(t, text, "ONE", `"`+old+`"`, "TWO", addrs(b))
 	k := dial(t, "tcp", addr)
 	io.WriteString(k, "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n")
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(k.r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := k.readHead(t)
 	was := d.pools["one"]
 	next := strings.Replace(text, "path = \"/one/*\"\npool = \"one\"", "path = \"/one/*\"\npool = \"two\"", 1)
 	next = strings.Replace(next, "[[pool]]\nname = \"one\"\nendpoints = [ONE]", "", 1)
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -229,9 +229,7 @@
 	stop := func(d *running) {
 		t.Helper()
 		d.stop()
-		if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-			t.Error(err)
-		}
+		checkEnded(t, d.ended, "end")
 	}
 	stop(d)
 	s.Close()
@@ -241,9 +239,7 @@
 		if runs, c := d.runs(t); runs != version || c.Attempts.MaxAttempts != maxAttempts {
 			t.Errorf("%s: %s runs, attempts.most %d", what, runs, c.Attempts.MaxAttempts)
 		}
-		if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
-			t.Errorf("%s: %s", what, resp.Status)
-		}
+		dial(t, "tcp", addr).checkServed(t, what)
 		stop(d)
 	}
 	checkStart("the service is away", "2 over file 1", 5, edits...)
@@ -331,16 +327,12 @@
 	scriptedpeer.Eventually(t, "the file", func() bool { runs, _ := d.runs(t); return runs == "4 over file 2" })
 	// Another process takes over, which does not count against the version.
 	next := start(t, w.config(t, append(w.managed(addr, "i-1"), "worth = 5.0", "worth = 3.0")...))
-	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end")
 	awaitAnswer(t, s, "4", "good")
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
-	w.endpoints[0].SetFaults(holdRequests("", taken, hold))
+	w.holdRequests("", taken, hold)
 	open := dial(t, "tcp", addr)
-	if _, err := open.Write([]byte(request("pay", 900, ""))); err != nil {
-		t.Fatal(err)
-	}
+	open.send(t, request("pay", 900, ""))
 	scriptedpeer.Receive(t, taken, "attempt")
 	next.stop()
 	set(t, s, "5", maxAttemptsResource(2), nil)
@@ -348,9 +340,7 @@
 	if resp, _ := open.answer(t); resp.StatusCode != 200 {
 		t.Error(resp.Status)
 	}
-	if err := scriptedpeer.Receive(t, next.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, next.ended, "end")
 	if answers := s.Answers("", "5"); len(answers) > 0 {
 		t.Errorf("while it ended: %q", answers)
 	}
@@ -381,9 +371,7 @@
 	p := spawn(t, "daemon", w.file(edits...))
 	scriptedpeer.Receive(t, p.lines, "a daemon that serves")
 	awaitAnswer(t, s, "1", "refused: 2 processes ended while they tried version 1")
-	if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Error(resp.Status)
-	}
+	dial(t, "tcp", addr).checkServed(t, "beside the rejected version")
 	set(t, s, "2", maxAttemptsResource(3), nil)
 	awaitAnswer(t, s, "2", "trial")
 }
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/differential"
@@ -266,11 +265,7 @@
 	}
 	streaming := dial(t, "tcp", c.Listeners[0].Address)
 	io.WriteString(streaming, "GET /listed/stream HTTP/1.1\r\nHost: h\r\n\r\n")
-	streaming.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(streaming.r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := streaming.readHead(t)
 	writeList(t, file, a, b) // the successor reads it at its start
 	second, serving := launch(t, c, testLog())
 	second.addrs = scriptedpeer.Receive(t, serving, "the second daemon")
@@ -293,9 +288,7 @@
 	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != 200_000 {
 		t.Errorf("the answer that streamed: %d bytes, %v", n, err)
 	}
-	if err := scriptedpeer.Receive(t, first.ended, "the first daemon's end"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, first.ended, "the first daemon's end")
 }
 
 // Routes name the classes of their own configuration. A file with other classes is applied by a new generation, with
--- a/internal/daemon/streaming_test.go
+++ b/internal/daemon/streaming_test.go
@@ -230,11 +230,7 @@
 	t.Helper()
 	k := dial(t, "tcp", addr)
 	fmt.Fprintf(k, "GET / HTTP/%.3s\r\nHost: h\r\n\r\n", version)
-	k.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(k.r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := k.readHead(t)
 	got, err := io.ReadAll(resp.Body)
 	if err == nil || isTimeout(err) || len(got) > maxSize || resp.Trailer.Get("X-Sum") != "" {
 		t.Errorf("HTTP/%s: %d bytes, %v, trailer %v", version, len(got), err, resp.Trailer)
--- a/internal/daemon/successor_test.go
+++ b/internal/daemon/successor_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 
@@ -17,21 +16,15 @@
 func TestSuccessorHandsOverBeforeItsPredecessorIsDone(t *testing.T) {
 	w := newTestFleet(t, 2, endpoint.Options{})
 	hold, taken := make(chan struct{}), make(chan struct{}, 1)
-	for _, e := range w.endpoints {
-		e.SetFaults(holdRequests("/pay/1", taken, hold))
-	}
+	w.holdRequests("/pay/1", taken, hold)
 	addr := freeAddr(t)
 	first := start(t, w.config(t, "127.0.0.1:0", addr))
 	k := dial(t, "tcp", addr)
-	if _, err := io.WriteString(k, request("pay", 900, "")); err != nil {
-		t.Fatal(err)
-	}
+	k.send(t, request("pay", 900, ""))
 	scriptedpeer.Receive(t, taken, "attempt")
 	second := start(t, w.config(t, "127.0.0.1:0", addr, `drain_within = "3s"`, `drain_within = "50ms"`))
 	third := start(t, w.config(t, "127.0.0.1:0", addr))
-	if err := scriptedpeer.Receive(t, second.ended, "end of the second"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, second.ended, "end of the second")
 	for range 20 {
 		if resp, _ := dial(t, "tcp", addr).request(t, request("look", 900, "")); resp.StatusCode != 200 || resp.Close {
 			t.Errorf("%s, close %v", resp.Status, resp.Close)
@@ -47,9 +40,7 @@
 	if resp, _ := k.answer(t); resp.StatusCode != 200 {
 		t.Errorf("the open request: %s", resp.Status)
 	}
-	if err := scriptedpeer.Receive(t, first.ended, "end of the first"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, first.ended, "end of the first")
 }
 
 // A successor that fails to start ends with an error, and the predecessor serves on.
@@ -129,14 +120,10 @@
 			c := w.config(t, "127.0.0.1:0", freeAddr(t), `ready_within = "5s"`, `ready_within = "300ms"`)
 			d := start(t, c)
 			busy := dial(t, "tcp", d.addrs["desk"])
-			if resp, _ := busy.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-				t.Fatal(resp.Status)
-			}
+			busy.requireServed(t)
 			held, hold := make(chan struct{}, 1), make(chan struct{})
-			w.endpoints[0].SetFaults(holdRequests("/pay/1", held, hold))
-			if _, err := io.WriteString(busy, request("pay", 900, "x")); err != nil {
-				t.Fatal(err)
-			}
+			w.holdRequests("/pay/1", held, hold)
+			busy.send(t, request("pay", 900, "x"))
 			scriptedpeer.Receive(t, held, "attempt") // a connection in use is not handed over, so it cannot be lost
 			tc.do(connectAsSuccessor(t, c.Takeover.Socket))
 			close(hold)
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"os"
 	"strings"
 	"syscall"
@@ -22,9 +21,7 @@
 func restart(t *testing.T, old *running, c *options) *running {
 	t.Helper()
 	next := start(t, c.config)
-	if err := scriptedpeer.Receive(t, old.ended, "end of the old one"); err != nil {
-		t.Errorf("the old one ended with %v", err)
-	}
+	checkEnded(t, old.ended, "end of the old one")
 	return next
 }
 
@@ -96,6 +93,22 @@
 	}
 }
 
+// requireServed ends the test unless a request on a connection is served.
+func (k *clientConn) requireServed(t *testing.T) {
+	t.Helper()
+	if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+}
+
+// checkEnded waits for the end of a daemon, and checks that it ends without error. what describes the end.
+func checkEnded(t *testing.T, ended <-chan error, what string) {
+	t.Helper()
+	if err := scriptedpeer.Receive(t, ended, what); err != nil {
+		t.Errorf("%s: %v", what, err)
+	}
+}
+
 // Two handovers in a row under load: no connection is rejected or reset, idle and active connections are kept, each
 // request has exactly one answer, and the learned state is handed over.
 func TestTakeover(t *testing.T) {
@@ -109,18 +122,12 @@
 	atRest, unix := dial(t, "tcp", addr), dial(t, "unix", d.addrs["local"])
 	inUse := dial(t, "tcp", addr)
 	held, hold := make(chan struct{}, 8), make(chan struct{})
-	for _, e := range w.endpoints {
-		e.SetFaults(holdRequests("/pay/1", held, hold))
-	}
+	w.holdRequests("/pay/1", held, hold)
 	for _, k := range []*clientConn{atRest, unix} {
-		if resp, _ := k.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-			t.Fatal(resp.Status)
-		}
+		k.requireServed(t)
 	}
 	report := w.startLosslessLoad(t, addr)
-	if _, err := io.WriteString(inUse, request("pay", 900, "x")); err != nil {
-		t.Fatal(err)
-	}
+	inUse.send(t, request("pay", 900, "x"))
 	scriptedpeer.Receive(t, held, "an open request")
 	// The first handover ends once the open request has its answer, from the old process.
 	second, serving := launch(t, c.config, testLog())
@@ -135,9 +142,7 @@
 	if resp, _ := inUse.answer(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("the request open at the handover: %s, close %v", resp.Status, resp.Close)
 	}
-	if err := scriptedpeer.Receive(t, d.ended, "end of the first"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end of the first")
 	third := restart(t, second, c)
 	for name, k := range map[string]*clientConn{"at rest": atRest, "unix": unix, "in use": inUse} {
 		k.checkServed(t, "the connection "+name+", two processes later")
@@ -206,18 +211,14 @@
 	c := w.config(t, "127.0.0.1:0", freeAddr(t))
 	d := start(t, c)
 	atRest := dial(t, "tcp", d.addrs["desk"])
-	if resp, _ := atRest.request(t, request("look", 900, "")); resp.StatusCode != 200 {
-		t.Fatal(resp.Status)
-	}
+	atRest.requireServed(t)
 	// A scripted successor, slow to become ready.
 	k := connectAsSuccessor(t, c.Takeover.Socket)
 	k.expect(decide.Offer)
 	d.stop()
 	k.expect(decide.Handover)
 	waiting := dial(t, "tcp", d.addrs["desk"]) // not accepted yet
-	if _, err := io.WriteString(waiting, request("look", 5000, "")); err != nil {
-		t.Fatal(err)
-	}
+	waiting.send(t, request("look", 5000, ""))
 	k.send(decide.Prepared, "")
 	k.expect(decide.Activate)
 	m, err := k.Read()
@@ -226,9 +227,7 @@
 	}
 	m.CloseFiles()
 	k.expect(decide.Done)
-	if err := scriptedpeer.Receive(t, d.ended, "end of the old one"); err != nil {
-		t.Error(err)
-	}
+	checkEnded(t, d.ended, "end of the old one")
 
 	// A stop of the new one before it serves leaves the old one as it was.
 	w2 := &testFleet{discovery: w.discovery, ledger: w.ledger, endpoints: w.endpoints, dir: t.TempDir()}
@@ -242,9 +241,7 @@
 	go func() { ended <- Run(ctx, Options{Config: &unready, Log: testLog(), Seed: 3}) }()
 	scriptedpeer.Receive(t, mute.Requests, "a new process that starts")
 	cancel()
-	if err := scriptedpeer.Receive(t, ended, "end of the new one"); err != nil {
-		t.Errorf("the new one: %v", err)
-	}
+	checkEnded(t, ended, "end of the new one")
 	d.stillServes(t)
 }
 
