--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -21,6 +21,7 @@
 	r := b.newRequest(now, in)
 	b.countRequest(now, r)
 	b.estimateWork(r)
+	b.meanWork.add(r.work, slowWeight)
 	if now >= in.Deadline || b.openRequests > b.settings.Limits.MaxOpenRequests {
 		b.reject(r)
 		return
@@ -30,7 +31,8 @@
 	}
 }
 
-// countRequest counts a new request in the request rates and in the retry budget.
+// countRequest counts a new request in the request rates and in the retry budget, and its hint (microseconds)
+// in the mean work of its class.
 func (b *Balancer) countRequest(now monotime.Micros, r *request) {
 	b.requestRate.add(now, 1)
 	b.earnRetry(now)
@@ -38,6 +40,9 @@
 	if int(r.Tenant) < len(b.tenantRates) {
 		b.tenantRates[r.Tenant].add(now, 1)
 	}
+	if r.HasWorkHint && r.WorkHint > 0 {
+		b.classes[r.Class].meanWork.add(float64(r.WorkHint), slowWeight)
+	}
 }
 
 // initialHintTrust is the first hintTrust, 0 to 1: hints count half until answers show how far they are
@@ -47,17 +52,12 @@
 // estimateWork sets the work (microseconds) that is expected of a request: the mean of its class, or its
 // hint, which counts by hintTrust (0: not at all; 1: as it is). Both are compared as logarithms, since hints
 // are wrong by factors.
-//
-// It also learns: a hint moves the mean work of the class, and the estimate the mean work of all requests.
 func (b *Balancer) estimateWork(r *request) {
-	meanWork := &b.classes[r.Class].meanWork
-	r.work = meanWork.value
+	r.work = b.classes[r.Class].meanWork.value
 	if r.HasWorkHint && r.WorkHint > 0 {
-		meanWork.add(float64(r.WorkHint), slowWeight)
-		r.logHintRatio = math.Log(float64(r.WorkHint) / meanWork.value)
-		r.work = meanWork.value * math.Exp(b.hintTrust*r.logHintRatio)
+		r.logHintRatio = math.Log(float64(r.WorkHint) / r.work)
+		r.work *= math.Exp(b.hintTrust * r.logHintRatio)
 	}
-	b.meanWork.add(r.work, slowWeight)
 }
 
 // dispatch sends a new request or rejects it, and counts that in the rejected ratio. It does neither with a
