--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -61,8 +61,8 @@
 	if max(chance, suspicion) <= 0 {
 		return true
 	}
-	if now-e.breaker.lastForcedPass > interval {
-		e.breaker.lastForcedPass = now
+	if now-e.lastForcedPass > interval {
+		e.lastForcedPass = now
 		return true
 	}
 	x := b.random.float()
--- a/balancer/breakerwindow.go
+++ b/balancer/breakerwindow.go
@@ -11,10 +11,6 @@
 	accepts        int     // in the window: successes
 	baseLatency    float64 // microseconds, the usual latency; 0 before the first answer
 	currentLatency float64 // microseconds, the present latency
-
-	// lastForcedPass is the instant of the latest attempt that passed without regard to the chances. The
-	// breaker and the suspicion of other balancers share it (breakerAllows); SetSuspicion sets it as well.
-	lastForcedPass monotime.Micros
 }
 
 // bucket counts the outcomes of one part of the window.
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -44,6 +44,10 @@
 	outliers              []outlierStats  // by part of the traffic (trafficParts)
 	breaker               breaker
 	suspicions            []float64 // by class, 0 to 1 (SetSuspicion); nil is 0 for each
+
+	// lastForcedPass is the instant of the latest attempt that passed without regard to the chances of breaker
+	// and suspicions (breakerAllows). The start of a suspicion sets it as well (SetSuspicion).
+	lastForcedPass monotime.Micros
 }
 
 // outlierStats counts an endpoint's consecutive failures of a part of the traffic, and holds the ejection for
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -242,6 +242,7 @@
 		baseLatency:    validFigure(l.BaseLatency),
 		currentLatency: validFigure(l.CurrentLatency),
 	}
+	e.lastForcedPass = 0
 	if len(l.BreakerWindow) == breakerBuckets {
 		e.breaker.restore(now, age, l.BreakerWindow)
 	}
--- a/balancer/suspicion.go
+++ b/balancer/suspicion.go
@@ -6,7 +6,7 @@
 // balancers have observed to fail. A quiet balancer uses an endpoint too seldom to observe that itself.
 // Chance 0 ends the suspicion. An endpoint or a class that is not known is ignored.
 //
-// The start of a suspicion sets breaker.lastForcedPass to a random instant of the latest
+// The start of a suspicion sets the endpoint's lastForcedPass to a random instant of the latest
 // suspectTrialInterval. The breaker's own forced passes count from that instant as well.
 func (b *Balancer) SetSuspicion(now monotime.Micros, id uint32, class int, chance float64) {
 	e := b.endpointsByID[id]
@@ -18,7 +18,7 @@
 	}
 	if e.suspicions[class] == 0 && chance > 0 {
 		// A random start, since the balancers of a fleet must not send their first trials together.
-		e.breaker.lastForcedPass = now - b.random.durationBelow(b.suspectTrialInterval())
+		e.lastForcedPass = now - b.random.durationBelow(b.suspectTrialInterval())
 	}
 	e.suspicions[class] = min(1, max(0, chance))
 }
