--- a/balancer/api.go
+++ b/balancer/api.go
@@ -97,9 +97,9 @@
 	WithinQuotaRatio    []float64 // by tenant: the part of its requests that is within its quota
 	RetryAdmitRatio     float64   // of the clients' retries (Request.Retry) that the ratios above admit
 
-	QueueWaitFraction    []float64 // by class: part of the rest of the latency objective that queueing may take
-	TopQueueWaitFraction float64   // the same, at least, for the requests of TopRatio, of any class
-	TopRatio             float64   // of the requests: those of the lowest rank numbers, which are admitted first
+	QueueWaitFraction      []float64 // by class: part of the rest of the latency objective that queueing may take
+	FloorQueueWaitFraction float64   // the same, at least, for the requests of FloorRatio, of any class
+	FloorRatio             float64   // of the requests: those of the lowest rank numbers, which are admitted first
 
 	ForcedAdmitInterval monotime.Micros // time between two forced admissions of a class
 	RetryAllowed        bool            // this instance may send one more retry, by its own budget or its leased quota
--- a/balancer/decisions_test.go
+++ b/balancer/decisions_test.go
@@ -215,16 +215,16 @@
 	n := len(s.settings.Classes)
 	forEachClass := func(x float64) []float64 { return slices.Repeat([]float64{x}, n) }
 	policy := &balancer.OverloadPolicy{
-		AdmitRatio:           forEachClass(0.7),
-		OverQuotaAdmitRatio:  forEachClass(0.3),
-		WithinQuotaRatio:     []float64{0.9, 0.5},
-		RetryAdmitRatio:      0.5,
-		QueueWaitFraction:    forEachClass(0.25),
-		TopQueueWaitFraction: 0.7,
-		TopRatio:             0.1,
-		ForcedAdmitInterval:  3 * second,
-		RetryAllowed:         true,
-		MaxProbeRate:         20,
+		AdmitRatio:             forEachClass(0.7),
+		OverQuotaAdmitRatio:    forEachClass(0.3),
+		WithinQuotaRatio:       []float64{0.9, 0.5},
+		RetryAdmitRatio:        0.5,
+		QueueWaitFraction:      forEachClass(0.25),
+		FloorQueueWaitFraction: 0.7,
+		FloorRatio:             0.1,
+		ForcedAdmitInterval:    3 * second,
+		RetryAllowed:           true,
+		MaxProbeRate:           20,
 	}
 	s.balancer.SetOverloadPolicy(policy)
 	s.after(500*millisecond, func() { policy.RetryAllowed = false })
--- a/balancer/latencybudget.go
+++ b/balancer/latencybudget.go
@@ -47,8 +47,8 @@
 		return max(minQueueWaitFraction, maxQueueWaitFraction*b.priorityWeight(now, r))
 	}
 	fraction := b.overload.QueueWaitFraction[r.Class]
-	if b.isTopRanked(r.ID) {
-		fraction = max(b.overload.TopQueueWaitFraction, fraction)
+	if b.isInFloor(r.ID) {
+		fraction = max(b.overload.FloorQueueWaitFraction, fraction)
 	}
 	return fraction
 }
--- a/balancer/overload_test.go
+++ b/balancer/overload_test.go
@@ -16,14 +16,14 @@
 		all[i] = 1
 	}
 	policy := &OverloadPolicy{
-		AdmitRatio:           all,
-		OverQuotaAdmitRatio:  make([]float64, len(all)),
-		QueueWaitFraction:    []float64{0.6, 0.6, 0.6, 0.6, 0.6}[:len(all)],
-		TopQueueWaitFraction: 0.6,
-		RetryAdmitRatio:      1,
-		RetryAllowed:         true,
-		MaxProbeRate:         1000,
-		ForcedAdmitInterval:  100 * second,
+		AdmitRatio:             all,
+		OverQuotaAdmitRatio:    make([]float64, len(all)),
+		QueueWaitFraction:      []float64{0.6, 0.6, 0.6, 0.6, 0.6}[:len(all)],
+		FloorQueueWaitFraction: 0.6,
+		RetryAdmitRatio:        1,
+		RetryAllowed:           true,
+		MaxProbeRate:           1000,
+		ForcedAdmitInterval:    100 * second,
 	}
 	b.SetOverloadPolicy(policy)
 	return b, r, policy
--- a/balancer/overloadpolicy.go
+++ b/balancer/overloadpolicy.go
@@ -35,11 +35,11 @@
 	return b.retryAfter(&b.settings.Classes[in.Class]), true
 }
 
-// isTopRanked reports whether a request is in OverloadPolicy.TopRatio (part of the requests, 0 to 1): those
+// isInFloor reports whether a request is in OverloadPolicy.FloorRatio (part of the requests, 0 to 1): those
 // of the lowest rank numbers, which ShouldReject admits first.
-func (b *Balancer) isTopRanked(id uint64) bool {
+func (b *Balancer) isInFloor(id uint64) bool {
 	random := b.requestRand(id)
-	return random.float() < b.overload.TopRatio
+	return random.float() < b.overload.FloorRatio
 }
 
 // requestRand returns a request's own random source. Its first number is the request's rank, which is
--- a/internal/decide/overload/bounds.go
+++ b/internal/decide/overload/bounds.go
@@ -19,11 +19,11 @@
 
 // Bounds are the decisions of a Controller as of an instant.
 type Bounds struct {
-	Level                  float64   // admission level, minLevel to 1: the part of a standard mix of work
-	AdmitRatio             []float64 // by class: admitted part of the requests within their tenants' shares, 0 to 1
-	OverShareAdmitRatio    []float64 // by class: admitted part of the requests over their tenants' shares, 0 to 1
-	TenantWithinShareRatio []float64 // by tenant: part of its requests that is within its share, 0 to 1
-	ClientRetryAdmitRatio  float64   // admitted part of client retries, 0 to 1, of those that AdmitRatio admits
+	Level               float64   // admission level, minLevel to 1: the part of a standard mix of work
+	AdmitRatio          []float64 // by class: admitted part of the requests within their tenants' quotas, 0 to 1
+	OverQuotaAdmitRatio []float64 // by class: admitted part of the requests over their tenants' quotas, 0 to 1
+	WithinQuotaRatio    []float64 // by tenant: part of its requests that is within its quota, 0 to 1
+	RetryAdmitRatio     float64   // admitted part of client retries, 0 to 1, of those that AdmitRatio admits
 
 	// The time for which a request may wait at an endpoint, as a part of the time that its latency objective leaves
 	// beyond its service time: by class, and for the requests of the floor. The floor is the part FloorRatio of every
@@ -33,7 +33,7 @@
 	FloorRatio             float64
 
 	RetryAllowed bool    // one more retry may be sent without a lease
-	ProbeRate    float64 // probes a second within the budget
+	MaxProbeRate float64 // probes a second, at most, by the budget
 
 	// ForcedAdmitInterval is the time between requests of a class that are admitted against its limit, so that new
 	// samples correct a wrong estimate.
@@ -51,15 +51,15 @@
 		Level:                  c.level.value,
 		Load:                   c.level.load,
 		AdmittedRatio:          c.admittedRatio(now),
-		ProbeRate:              c.probeLimits(now).total(),
-		ClientRetryAdmitRatio:  clientRetryRatio(c.level.value),
+		MaxProbeRate:           c.probeLimits(now).total(),
+		RetryAdmitRatio:        clientRetryRatio(c.level.value),
 		FloorQueueWaitFraction: floorQueueWait,
 		ForcedAdmitInterval:    c.forcedAdmitInterval(),
 	}
-	b.AdmitRatio, b.OverShareAdmitRatio = c.shedding.ratios(b.Level, c.answerTimes)
+	b.AdmitRatio, b.OverQuotaAdmitRatio = c.shedding.ratios(b.Level, c.answerTimes)
 	b.QueueWaitFraction = c.shedding.queueWaits
 	b.FloorRatio = c.shedding.floorRatio
-	b.TenantWithinShareRatio = c.shedding.withinShareRatios(now, c.tenantDemand)
+	b.WithinQuotaRatio = c.shedding.withinQuotaRatios(now, c.tenantDemand)
 	b.Reason = c.boundReason(now, b.AdmittedRatio)
 	c.setRetryRatio(b.Reason)
 	c.startSecond(now)
--- a/internal/decide/overload/overload_test.go
+++ b/internal/decide/overload/overload_test.go
@@ -15,7 +15,7 @@
 	millis := func(ms int64) monotime.Micros { return ms * 1000 }
 	return Settings{
 		Classes:              []Class{{2, millis(250)}, {1, millis(200)}, {3, millis(200)}, {5, millis(300)}},
-		OverShareWeight:      1,
+		OverQuotaWeight:      1,
 		GoalWeights:          GoalWeights{0.8, worstClassWeight},
 		Instances:            instances,
 		RetryRatio:           0.2,
@@ -277,11 +277,11 @@
 	}
 }
 
-// A tenant whose demand is more than its part of the mix is over its share by that, and the other is not; two that
+// A tenant whose demand is more than its part of the mix is over its quota by that, and the other is not; two that
 // demand twice the capacity, each in its part, are both within; so is one without a quota.
 func TestDemandOverTenantShare(t *testing.T) {
 	s := testSettings(0, 8)
-	s.OverShareWeight = 0.05
+	s.OverQuotaWeight = 0.05
 	for _, test := range []struct{ allowedB, a, b, inA, inB float64 }{
 		{50, 100, 100, 1, 1},
 		{50, 300, 100, 0.83, 1},
@@ -297,9 +297,9 @@
 				}
 			}
 		}
-		withinShare := c.Bounds(4 * second).TenantWithinShareRatio
-		if math.Abs(withinShare[0]-test.inA) > 0.02 || math.Abs(withinShare[1]-test.inB) > 0.02 {
-			t.Errorf("%v and %v a second: %.2f are within their shares", test.a, test.b, withinShare)
+		withinQuota := c.Bounds(4 * second).WithinQuotaRatio
+		if math.Abs(withinQuota[0]-test.inA) > 0.02 || math.Abs(withinQuota[1]-test.inB) > 0.02 {
+			t.Errorf("%v and %v a second: %.2f are within their quotas", test.a, test.b, withinQuota)
 		}
 	}
 }
@@ -328,7 +328,7 @@
 				t.Errorf("%v and others with %v in flight: %v at a load of %.2f",
 					falseReport, inFlight, b.Reason, b.Load)
 			}
-			if probeRate := b.ProbeRate; !(probeRate >= 0) || math.IsInf(probeRate, 0) {
+			if probeRate := b.MaxProbeRate; !(probeRate >= 0) || math.IsInf(probeRate, 0) {
 				t.Errorf("%v: %v probes a second", falseReport, probeRate)
 			}
 		}
@@ -343,7 +343,7 @@
 		"further":     func(s *Settings) { s.RetryRatio = math.NaN() },
 		"instances":   func(s *Settings) { s.Instances = 0 },
 		"node_probes": func(s *Settings) { s.MaxEndpointProbeRate = -1 },
-		"over_share":  func(s *Settings) { s.OverShareWeight = 2 },
+		"over_share":  func(s *Settings) { s.OverQuotaWeight = 2 },
 	} {
 		s := testSettings(0, 8)
 		invalidate(&s)
--- a/internal/decide/overload/settings.go
+++ b/internal/decide/overload/settings.go
@@ -18,8 +18,9 @@
 
 // Tenant is one of the tenants that share the service.
 type Tenant struct {
-	// Quota is in requests a second over all instances; 0 is no quota. A tenant's share of the demand is in
-	// proportion to its quota: while all demand the same multiple of their quotas, no tenant is over its share.
+	// Quota is in requests a second over all instances; 0 is no quota. Tenants are compared with one another: a tenant
+	// is over its quota if its part of the demand is over its part of all quotas. While all demand the same multiple
+	// of their quotas, none is over its quota.
 	Quota float64
 }
 
@@ -33,7 +34,7 @@
 type Settings struct {
 	Classes         []Class
 	Tenants         []Tenant
-	OverShareWeight float64 // factor on the priority weight of requests over their tenant's share, 0 to 1
+	OverQuotaWeight float64 // factor on the priority weight of requests over their tenant's quota, 0 to 1
 	GoalWeights     GoalWeights
 	Instances       int // number of instances in the fleet as far as known, this one included
 	Seed            uint64
@@ -95,7 +96,7 @@
 		{"probes", s.ProbeRatio, 100},
 		{"node_probes", s.MaxEndpointProbeRate, 1e6},
 		{"node_least", s.MinEndpointProbeRate, 1e6},
-		{"over_share", s.OverShareWeight, 1},
+		{"over_share", s.OverQuotaWeight, 1},
 		{"goal.whole", s.GoalWeights.Overall, 1e6},
 		{"goal.worst_class", s.GoalWeights.WorstClass, 1e6},
 	} {
--- a/internal/decide/overload/shedding.go
+++ b/internal/decide/overload/shedding.go
@@ -17,19 +17,19 @@
 type sheddingOrder struct {
 	settings       Settings
 	admit          []float64 // by class, as Bounds.AdmitRatio
-	overShareAdmit []float64 // by class, as Bounds.OverShareAdmitRatio
+	overQuotaAdmit []float64 // by class, as Bounds.OverQuotaAdmitRatio
 	queueWaits     []float64 // by class, as Bounds.QueueWaitFraction
-	withinShare    []float64 // by tenant, as Bounds.TenantWithinShareRatio
+	withinQuota    []float64 // by tenant, as Bounds.WithinQuotaRatio
 	groups         []workGroup
-	lastLevel      float64 // level that admit and overShareAdmit are of; -1 is none
+	lastLevel      float64 // level that admit and overQuotaAdmit are of; -1 is none
 	floorRatio     float64 // as Bounds.FloorRatio
 	callsSinceRank int
 }
 
-// workGroup is the requests of a class that are within the shares of their tenants, or those over them.
+// workGroup is the requests of a class that are within the quotas of their tenants, or those over them.
 type workGroup struct {
 	class        int
-	overShare    bool
+	overQuota    bool
 	weight       float64 // priority weight for a microsecond at an endpoint
 	workFraction float64 // its part of the work of the standard mix
 }
@@ -40,25 +40,25 @@
 	return sheddingOrder{
 		settings:       s,
 		admit:          make([]float64, n),
-		overShareAdmit: make([]float64, n),
+		overQuotaAdmit: make([]float64, n),
 		queueWaits:     make([]float64, n),
-		withinShare:    make([]float64, len(s.Tenants)),
+		withinQuota:    make([]float64, len(s.Tenants)),
 		lastLevel:      -1,
 	}
 }
 
-// splitsByShare reports whether requests over their tenant's share are a group of their own.
-func (o *sheddingOrder) splitsByShare() bool {
-	return o.settings.OverShareWeight < 1 && len(o.settings.Tenants) > 1
+// splitsByQuota reports whether requests over their tenant's quota are a group of their own.
+func (o *sheddingOrder) splitsByQuota() bool {
+	return o.settings.OverQuotaWeight < 1 && len(o.settings.Tenants) > 1
 }
 
 // rankInterval is the number of calls of ratios after which the classes are ranked anew: answer times change slowly.
 const rankInterval = 256
 
-// ratios decides which part of each class is admitted at a level: of the requests within their tenants' shares, and
+// ratios decides which part of each class is admitted at a level: of the requests within their tenants' quotas, and
 // of those over them. Every group gets the floor; then groups get all of their requests admitted by rank, the highest
 // weight first, as long as the rest of the level allows.
-func (o *sheddingOrder) ratios(level float64, answerTimes []movingAverage) (admit, overShareAdmit []float64) {
+func (o *sheddingOrder) ratios(level float64, answerTimes []movingAverage) (admit, overQuotaAdmit []float64) {
 	o.callsSinceRank++
 	if len(o.groups) == 0 || o.callsSinceRank >= rankInterval {
 		o.rank(answerTimes)
@@ -66,7 +66,7 @@
 		o.lastLevel = -1
 	}
 	if level == o.lastLevel {
-		return o.admit, o.overShareAdmit
+		return o.admit, o.overQuotaAdmit
 	}
 	o.lastLevel = level
 	floor, rest := o.bestFloor(level)
@@ -82,26 +82,26 @@
 		}
 		o.setRatio(group, min(1, ratio))
 	}
-	return o.admit, o.overShareAdmit
+	return o.admit, o.overQuotaAdmit
 }
 
 // setRatio sets the admitted part of a group.
 func (o *sheddingOrder) setRatio(group workGroup, ratio float64) {
 	switch {
-	case !o.splitsByShare():
+	case !o.splitsByQuota():
 		o.admit[group.class] = ratio
-		o.overShareAdmit[group.class] = ratio
-	case group.overShare:
-		o.overShareAdmit[group.class] = ratio
+		o.overQuotaAdmit[group.class] = ratio
+	case group.overQuota:
+		o.overQuotaAdmit[group.class] = ratio
 	default:
 		o.admit[group.class] = ratio
 	}
 }
 
-// The parts of a class's work in the standard mix, where it is split by tenants' shares.
+// The parts of a class's work in the standard mix, where it is split by tenants' quotas.
 const (
-	withinShareWork = 0.9
-	overShareWork   = 0.1
+	withinQuotaWork = 0.9
+	overQuotaWork   = 0.1
 )
 
 // The part of the time that a request's objective leaves beyond its service time for which it may wait at an
@@ -120,31 +120,31 @@
 	n := float64(len(o.settings.Classes))
 	for i, c := range o.settings.Classes {
 		weight := c.PriorityWeight / max(1, answerTimes[i].value)
-		if !o.splitsByShare() {
+		if !o.splitsByQuota() {
 			o.groups = append(o.groups, workGroup{i, false, weight, 1 / n})
 			continue
 		}
-		overShareWeight := weight * o.settings.OverShareWeight
+		overQuotaWeight := weight * o.settings.OverQuotaWeight
 		o.groups = append(o.groups,
-			workGroup{i, false, weight, withinShareWork / n},
-			workGroup{i, true, overShareWeight, overShareWork / n})
+			workGroup{i, false, weight, withinQuotaWork / n},
+			workGroup{i, true, overQuotaWeight, overQuotaWork / n})
 	}
 	slices.SortStableFunc(o.groups, compareGroups)
 	rank := 0
 	for _, group := range o.groups {
-		if !group.overShare {
+		if !group.overQuota {
 			o.queueWaits[group.class] = maxQueueWait - (maxQueueWait-minQueueWait)*float64(rank)/max(1, n-1)
 			rank++
 		}
 	}
 }
 
-// compareGroups orders groups by rank: all requests over their tenants' shares are shed before any within a share, and
+// compareGroups orders groups by rank: all requests over their tenants' quotas are shed before any within a quota, and
 // otherwise the lowest weight is shed first.
 func compareGroups(a, b workGroup) int {
 	switch {
-	case a.overShare != b.overShare:
-		if a.overShare {
+	case a.overQuota != b.overQuota:
+		if a.overQuota {
 			return 1
 		}
 		return -1
@@ -206,13 +206,13 @@
 
 const (
 	minQuotaLoad   = 0.05 // part of all quotas that must be demanded of the instance: the mix of less is unusual
-	shareTolerance = 1.25 // factor on a share, since the mix of two seconds varies
+	quotaTolerance = 1.25 // factor on a tenant's part of all quotas, since the mix of two seconds varies
 )
 
-// withinShareRatios decides which part of each tenant's requests is within its share. Tenants whose demands are in
-// proportion to their quotas are all within their shares, however much they demand; so is a tenant without a quota. The
-// input is demand, in requests a second: by what is served, rejections for being over a share would shrink that share.
-func (o *sheddingOrder) withinShareRatios(now monotime.Micros, demand []decayingRate) []float64 {
+// withinQuotaRatios decides which part of each tenant's requests is within its quota. Tenants whose demands are in
+// proportion to their quotas are all within them, however much they demand; so is a tenant without a quota. The input
+// is demand, in requests a second: by what is served, rejections for being over a quota would shrink what is within it.
+func (o *sheddingOrder) withinQuotaRatios(now monotime.Micros, demand []decayingRate) []float64 {
 	var totalDemand, totalQuota float64
 	for i, t := range o.settings.Tenants {
 		if t.Quota > 0 {
@@ -221,11 +221,11 @@
 		}
 	}
 	for i, t := range o.settings.Tenants {
-		o.withinShare[i] = 1
+		o.withinQuota[i] = 1
 		own := demand[i].rate(now)
 		if t.Quota > 0 && own > 0 && totalDemand >= minQuotaLoad*totalQuota {
-			o.withinShare[i] = min(1, t.Quota/totalQuota*totalDemand/own*shareTolerance)
+			o.withinQuota[i] = min(1, t.Quota/totalQuota*totalDemand/own*quotaTolerance)
 		}
 	}
-	return o.withinShare
+	return o.withinQuota
 }
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -27,7 +27,7 @@
 func (p *Pool) initOverload(s overload.Settings, seed uint64) error {
 	site := &p.engine.config.Site.Settings
 	s.Seed = seed
-	s.OverShareWeight = site.OverQuotaWeight
+	s.OverQuotaWeight = site.OverQuotaWeight
 	s.GoalWeights = overload.GoalWeights{
 		Overall:    site.Goal.Overall + site.Goal.WorstWindow + site.Goal.WorstTenant,
 		WorstClass: site.Goal.WorstClass,
@@ -65,16 +65,16 @@
 	o := p.overload
 	b := o.control.Bounds(now)
 	o.policy = balancer.OverloadPolicy{
-		AdmitRatio:           b.AdmitRatio,
-		OverQuotaAdmitRatio:  b.OverShareAdmitRatio,
-		WithinQuotaRatio:     b.TenantWithinShareRatio,
-		RetryAdmitRatio:      b.ClientRetryAdmitRatio,
-		QueueWaitFraction:    b.QueueWaitFraction,
-		TopQueueWaitFraction: b.FloorQueueWaitFraction,
-		TopRatio:             b.FloorRatio,
-		ForcedAdmitInterval:  b.ForcedAdmitInterval,
-		RetryAllowed:         b.RetryAllowed || p.hasRetryQuota(now),
-		MaxProbeRate:         b.ProbeRate,
+		AdmitRatio:             b.AdmitRatio,
+		OverQuotaAdmitRatio:    b.OverQuotaAdmitRatio,
+		WithinQuotaRatio:       b.WithinQuotaRatio,
+		RetryAdmitRatio:        b.RetryAdmitRatio,
+		QueueWaitFraction:      b.QueueWaitFraction,
+		FloorQueueWaitFraction: b.FloorQueueWaitFraction,
+		FloorRatio:             b.FloorRatio,
+		ForcedAdmitInterval:    b.ForcedAdmitInterval,
+		RetryAllowed:           b.RetryAllowed || p.hasRetryQuota(now),
+		MaxProbeRate:           b.MaxProbeRate,
 	}
 	o.bounds = b
 	p.logBounds(now)
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -75,7 +75,7 @@
 		o.Instances = 600
 		h.startPool(t, PoolConfig{Name: "o", Overload: &o, Subset: part, RetryRatio: 0.01}, list)
 		// A probe a second at each of sixty, over six hundred instances, by one that is served nothing.
-		rate := func() float64 { return h.pool.overload.control.Bounds(1_000 * monotime.Second).ProbeRate }
+		rate := func() float64 { return h.pool.overload.control.Bounds(1_000 * monotime.Second).MaxProbeRate }
 		if got := rate(); got < 0.099 || got > 0.101 {
 			t.Errorf("subset %v: %v probes a second", part != nil, got)
 		}
