--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -146,9 +146,7 @@
 	}
 	stalls.Store(true)
 	for before := heads.Load(); heads.Load() == before; {
-		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-			t.Errorf("beside another: %s", resp.Status)
-		}
+		s.checkServed(t, "beside another")
 	}
 }
 
@@ -194,10 +192,7 @@
 	})
 	cfg := configureStatic(t, instances(addr), `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
-	c, err := net.Dial("tcp", s.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := s.dial(t)
 	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
 		t.Fatal(err)
 	}
@@ -288,9 +283,7 @@
 	}
 	silent.Store(true)
 	for i := range 60 {
-		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-			t.Errorf("request %d: %s", i, resp.Status)
-		}
+		s.checkServed(t, fmt.Sprint("request ", i))
 	}
 	if n := lost.Load(); n != 1 {
 		t.Errorf("%d requests went to silent connections, want 1", n)
@@ -322,12 +315,7 @@
 				<-release
 				return (&net.Dialer{}).DialContext(ctx, network, addr)
 			})
-			answer := make(chan int, 1)
-			c := s.dial(t)
-			go func() {
-				resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
-				answer <- resp.StatusCode
-			}()
+			answer := s.requestInBackground(t, request("POST", "/pay", "pay", 900, "x"))
 			scriptedpeer.Receive(t, dialing, "dial")
 			tc.update.Generation = 8
 			s.parts.endpoints.UpdateEndpoints(context.Background(), tc.update.EndpointUpdate())
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -130,10 +130,7 @@
 			})
 		}
 		s := start(t, configureStatic(t, instances(endpoint(), endpoint())))
-		c, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := s.dial(t)
 		look(900).Write(c)
 		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 		r := bufio.NewReader(c)
@@ -167,11 +164,7 @@
 		}
 		c := s.dial(t)
 		go r.Write(c)
-		c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-		resp, err := http.ReadResponse(bufio.NewReader(c), r)
-		if err != nil {
-			t.Fatal(err)
-		}
+		resp := readHead(t, c, r)
 		if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, body) {
 			t.Errorf("sized %v: %s, %d bytes, %v", sized, resp.Status, len(got), err)
 		}
@@ -208,11 +201,7 @@
 	s := start(t, configureStatic(t, instances(scriptedpeer.StartHTTP(t, handle), scriptedpeer.StartHTTP(t, handle))))
 	c := s.dial(t)
 	request("GET", "/look/large", "look", 900, "").Write(c)
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := readHead(t, c, nil)
 	if _, err := io.ReadFull(resp.Body, make([]byte, 1<<10)); err != nil {
 		t.Fatal("the first bytes did not come:", err)
 	}
@@ -236,15 +225,9 @@
 	for range 6 { // 600 ms: longer than the client waits for the response, which counts from the last byte
 		c.Write(pattern(16 << 10))
 		time.Sleep(100 * time.Millisecond)
-		if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-			t.Error("beside an upload:", resp.Status)
-		}
-	}
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatal(err)
+		s.checkServed(t, "beside an upload")
 	}
+	resp := readHead(t, c, nil)
 	if got, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || len(got) != 96<<10 {
 		t.Errorf("%s, %d bytes, %v", resp.Status, len(got), err)
 	}
--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -173,9 +173,7 @@
 	scriptedpeer.Eventually(t, "the dial is cancelled", func() bool { return h.cancelled.Load() == 1 })
 	close(h.release)
 	// Another client is served as usual. Anything of the cancelled request would have been received before.
-	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-		t.Errorf("the next is answered %s", resp.Status)
-	}
+	s.checkServed(t, "the next request")
 	want := int64(len(requestText(t, look(900))))
 	if n := received.Load(); n > 2*want {
 		t.Errorf("the endpoint got %d bytes, where the other request has about %d", n, want)
@@ -211,10 +209,7 @@
 		s := start(t, configureStatic(t, list,
 			`"probes":false`, `"probes":true`,
 			`"target":500000,"give-up":1000000`, `"target":1000000,"give-up":9000000`))
-		c, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := s.dial(t)
 		mu.Lock()
 		before := len(taken)
 		mu.Unlock()
@@ -256,9 +251,7 @@
 	left := time.Now()
 	s.checkCancelled(t, left)
 	close(h.release)
-	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-		t.Errorf("the next is answered %s", resp.Status)
-	}
+	s.checkServed(t, "the next request")
 	if n := got.Load(); n > 1000 {
 		t.Errorf("the endpoint got %d bytes", n)
 	}
@@ -272,10 +265,7 @@
 	const many, dialed = 40, 4 // the others are rejected, or still unread
 	var conns []net.Conn
 	for range many {
-		c, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := s.dial(t)
 		io.WriteString(c, requestText(t, request("POST", "/pay", "pay", 900, "x")))
 		conns = append(conns, c)
 	}
@@ -290,9 +280,7 @@
 	}
 	scriptedpeer.Eventually(t, "all places are free", func() bool { return s.idle() && s.openConnections() == 0 })
 	close(h.release)
-	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-		t.Errorf("the next is answered %s", resp.Status)
-	}
+	s.checkServed(t, "the next request")
 	if n := got.Load(); n > 1000 {
 		t.Errorf("the endpoint got %d bytes", n)
 	}
@@ -304,10 +292,7 @@
 	var taken atomic.Int32
 	addr := hanging(t, &taken)
 	s := start(t, configureStatic(t, instances(addr), `"cancel":true`, `"cancel":false`))
-	c, err := net.Dial("tcp", s.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := s.dial(t)
 	io.WriteString(c, requestText(t, request("POST", "/pay", "pay", 900, "1")))
 	scriptedpeer.Eventually(t, "the first is out", func() bool { return taken.Load() == 1 })
 	for range 3 {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -72,9 +72,7 @@
 func TestKnownListServes(t *testing.T) {
 	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {})
 	s := start(t, configureStatic(t, instances(addr)))
-	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
-		t.Errorf("with a known list and no discovery: %s", resp.Status)
-	}
+	s.checkServed(t, "with a known list and no discovery")
 }
 
 // With polled discovery the balancer starts each watch, and a new one after one that ended.
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -118,6 +118,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serve(t, parts, ln)
+}
+
+// serve runs an assembled sidecar on a listener and waits until it is ready. It is stopped with the test.
+func serve(t *testing.T, parts *sidecar, ln net.Listener) *running {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	s := &running{parts: parts, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1),
 		reload: make(chan os.Signal, 1), config: make(chan *platform.Config, 1)}
@@ -129,18 +135,18 @@
 		stop()
 		<-s.ended
 	})
-	for end := time.Now().Add(scriptedpeer.WaitTimeout); ; {
-		resp, err := http.Get("http://" + s.addr + "/-/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == 200 {
-				return s
-			}
-		}
-		if time.Now().After(end) {
-			t.Fatal("the sidecar does not become ready")
-		}
+	scriptedpeer.Eventually(t, "the sidecar is ready", func() bool { return s.readyStatus() == 200 })
+	return s
+}
+
+// readyStatus returns the status of the response to a readiness check, 0 without a response.
+func (s *running) readyStatus() int {
+	resp, err := http.Get("http://" + s.addr + "/-/ready")
+	if err != nil {
+		return 0
 	}
+	resp.Body.Close()
+	return resp.StatusCode
 }
 
 // read returns the configuration that a test has sent for the reload.
@@ -187,14 +193,62 @@
 	if err := r.Write(c); err != nil {
 		t.Fatal(err)
 	}
+	resp := readHead(t, c, r)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is not complete: %v", err)
+	}
+	return resp, string(body)
+}
+
+// readHead reads the head of the response to a request. The response's body is left to the caller.
+func readHead(t *testing.T, c net.Conn, r *http.Request) *http.Response {
+	t.Helper()
 	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatalf("the answer is not complete: %v", err)
+	return resp
+}
+
+// requestInBackground sends a request on a connection of its own, and returns a channel that receives the status of its
+// response.
+func (s *running) requestInBackground(t *testing.T, r *http.Request) <-chan int {
+	t.Helper()
+	c := s.dial(t)
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := s.requestOn(t, c, r)
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
+// checkServed checks that a request of the safe class is served.
+func (s *running) checkServed(t *testing.T, what string) {
+	t.Helper()
+	if resp, _ := s.request(t, look(900)); resp.StatusCode != 200 {
+		t.Errorf("%s: %s", what, resp.Status)
 	}
-	return resp, string(body)
+}
+
+// checkEnded waits for the end of a sidecar that was stopped, and checks that it ends without error.
+func (s *running) checkEnded(t *testing.T) {
+	t.Helper()
+	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// startHolding starts an endpoint that reports each request for a path on taken and answers it once release is closed.
+// An empty path is every path. It returns the endpoint's address.
+func startHolding(t *testing.T, path string, taken chan<- struct{}, release <-chan struct{}) string {
+	t.Helper()
+	return scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
+		if path == "" || r.URL.Path == path {
+			taken <- struct{}{}
+			<-release
+		}
+	})
 }
--- a/internal/sidecar/limits_test.go
+++ b/internal/sidecar/limits_test.go
@@ -21,17 +21,9 @@
 // Requests over the settings' limit never ran.
 func TestRequestLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {
-		taken <- struct{}{}
-		<-release
-	})
+	addr := startHolding(t, "", taken, release)
 	s := start(t, configureStatic(t, instances(addr), `"most-held":1000`, `"most-held":1`))
-	first := make(chan int)
-	c := s.dial(t)
-	go func() {
-		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 900, "x"))
-		first <- resp.StatusCode
-	}()
+	first := s.requestInBackground(t, request("POST", "/pay", "pay", 900, "x"))
 	scriptedpeer.Receive(t, taken, "first attempt")
 	if resp, _ := s.request(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
 		t.Errorf("second: %s, want 503", resp.Status)
@@ -49,21 +41,11 @@
 // that it needs.
 func TestConnectionLimit(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/pay" {
-			taken <- struct{}{}
-			<-release
-		}
-	})
+	addr := startHolding(t, "/pay", taken, release)
 	cfg := configureStatic(t, instances(addr))
 	cfg.Sockets = platform.MinSockets
 	s := start(t, cfg)
-	waiting := make(chan int, 1)
-	c := s.dial(t)
-	go func() {
-		resp, _ := s.requestOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
-		waiting <- resp.StatusCode
-	}()
+	waiting := s.requestInBackground(t, request("POST", "/pay", "pay", 1000, "x"))
 	scriptedpeer.Receive(t, taken, "attempt")
 	var silent []net.Conn
 	for range 2 * clientLimits(cfg.Sockets).MaxConnections {
@@ -94,12 +76,7 @@
 // new connections. Connections with an open request may use all descriptors for clients.
 func TestRestingConnections(t *testing.T) {
 	taken, release := make(chan struct{}, 64), make(chan struct{})
-	addr := scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/pay" {
-			taken <- struct{}{}
-			<-release
-		}
-	})
+	addr := startHolding(t, "/pay", taken, release)
 	free := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(free)               // otherwise the endpoint could not be closed
 	var many []discovery.Instance // a single one would seem overloaded
@@ -180,18 +157,10 @@
 // A second request with the id of an open one is a conflict, because an endpoint could not distinguish them.
 func TestOpenID(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := scriptedpeer.StartHTTP(t, func(http.ResponseWriter, *http.Request) {
-		taken <- struct{}{}
-		<-release
-	})
+	addr := startHolding(t, "", taken, release)
 	s := start(t, configureStatic(t, instances(addr)))
-	c := s.dial(t)
-	first := make(chan int, 1)
 	r := look(900)
-	go func() {
-		resp, _ := s.requestOn(t, c, r)
-		first <- resp.StatusCode
-	}()
+	first := s.requestInBackground(t, r)
 	scriptedpeer.Receive(t, taken, "attempt")
 	again := look(900)
 	again.Header.Set("X-Trace-Id", r.Header.Get("X-Trace-Id"))
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -88,7 +88,5 @@
 	s.reload <- syscall.SIGHUP
 	s.config <- configure(t, b.Addr, nil)
 	scriptedpeer.Receive(t, b.Requests, "call of discovery")
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Error(err)
-	}
+	s.checkEnded(t)
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -209,12 +209,7 @@
 // Connection: close, what was taken before is finished, and the sidecar ends without error.
 func TestStop(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := scriptedpeer.StartHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/pay" {
-			taken <- struct{}{}
-			<-release
-		}
-	})
+	addr := startHolding(t, "/pay", taken, release)
 	s := start(t, configureStatic(t, instances(addr)))
 	idle := s.dial(t)
 	if resp, _ := s.requestOn(t, idle, look(900)); resp.Close {
@@ -243,9 +238,7 @@
 		t.Errorf("ready: %s after the order to stop", resp.Status)
 	}
 	close(release)
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Errorf("ended with %v", err)
-	}
+	s.checkEnded(t)
 	if took := time.Since(started); took < 500*time.Millisecond {
 		t.Errorf("stopped accepting after %v", took)
 	}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -86,26 +85,11 @@
 // serveOn runs a sidecar with one endpoint on a listener of the test's own.
 func serveOn(t *testing.T, ln net.Listener, endpoint discovery.Instance) *running {
 	t.Helper()
-	s, err := assemble(configureStatic(t, []discovery.Instance{endpoint}), nil, scriptedpeer.DiscardLog)
+	parts, err := assemble(configureStatic(t, []discovery.Instance{endpoint}), nil, scriptedpeer.DiscardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	r := &running{parts: s, addr: ln.Addr().String(), stop: stop, ended: make(chan error, 1)}
-	go func() {
-		r.ended <- s.serve(ctx, ln, nil, nil)
-		close(r.ended)
-	}()
-	t.Cleanup(func() { stop(); <-r.ended })
-	scriptedpeer.Eventually(t, "ready", func() bool {
-		resp, err := http.Get("http://" + r.addr + "/-/ready")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == 200
-	})
-	return r
+	return serve(t, parts, ln)
 }
 
 // Connections in the listener's queue are served when the listener is closed, because the kernel has accepted them.
@@ -135,9 +119,7 @@
 			t.Errorf("connection %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Errorf("ended with %v", err)
-	}
+	s.checkEnded(t)
 }
 
 // Pipelined requests behind one that is open at the stop are answered, too. Only the last response closes the
@@ -155,14 +137,7 @@
 	scriptedpeer.Receive(t, taken, "first attempt")
 	io.WriteString(c, requestText(t, look(900))+requestText(t, look(900)))
 	s.stop()
-	scriptedpeer.Eventually(t, "all are to close", func() bool {
-		resp, err := http.Get("http://" + s.addr + "/-/ready")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == 503
-	})
+	scriptedpeer.Eventually(t, "all are to close", func() bool { return s.readyStatus() == 503 })
 	close(release)
 	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
 	r := bufio.NewReader(c)
@@ -179,9 +154,7 @@
 	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("behind the last: %v", err)
 	}
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Errorf("ended with %v", err)
-	}
+	s.checkEnded(t)
 }
 
 // A request that becomes complete late after the stop is answered before the platform kills the process, 0.7 s after
@@ -198,18 +171,12 @@
 	s.stop()
 	late := time.AfterFunc(900*time.Millisecond, func() { io.WriteString(c, text[len(text)-1:]) })
 	defer late.Stop() // its own deadline is at 1.9 s
-	c.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
+	resp := readHead(t, c, nil)
 	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
 	if took := time.Since(started); took > killed || taken.Load() != 1 || resp.StatusCode != 504 {
 		t.Errorf("%s after %v, with %d attempts", resp.Status, took, taken.Load())
 	}
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Errorf("ended with %v", err)
-	}
+	s.checkEnded(t)
 	if took := time.Since(started); took > killed {
 		t.Errorf("ended after %v", took)
 	}
@@ -291,9 +258,7 @@
 			t.Errorf("request %d: %v, %v", i, resp, err)
 		}
 	}
-	if err := scriptedpeer.Receive(t, s.ended, "end"); err != nil {
-		t.Errorf("ended with %v", err)
-	}
+	s.checkEnded(t)
 	const killed = 1700 * time.Millisecond // 1 s, the longest deadline, and 0.7 s
 	if took := time.Since(started); took > killed {
 		t.Errorf("ended after %v", took)
