--- a/balancer/checker_test.go
+++ b/balancer/checker_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -186,9 +187,7 @@
 	}
 	var err error
 	x.balancer, err = New(s, uint64(seed), x.checker)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	x.balancer.Start(x.now)
 	x.list = readyEndpoints(1 + x.random.Intn(6))
 	x.update(ListCached, slices.Clone(x.list))
--- a/balancer/decisions_test.go
+++ b/balancer/decisions_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -407,9 +408,7 @@
 		t.Skip("floating-point results may differ in the last bit on " + runtime.GOARCH)
 	}
 	golden, err := os.ReadFile("testdata/decisions.golden")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	want := map[string]string{}
 	for _, line := range strings.Split(strings.TrimSpace(string(golden)), "\n") {
 		fields := strings.Fields(line)
--- a/balancer/golden_test.go
+++ b/balancer/golden_test.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"dunlinsail/internal/fake/require"
 )
 
 // The golden files under testdata were written by the build of commit 870f4ac, before any field was renamed.
@@ -48,17 +50,13 @@
 		"learned_empty.json": {},
 	} {
 		text, err := json.Marshal(value)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		golden := strings.TrimSpace(readTestdata(t, file))
 		if string(text) != golden {
 			t.Errorf("%s: encoded as\n%s\nwant\n%s", file, text, golden)
 		}
 		var decoded LearnedState
-		if err := json.Unmarshal([]byte(golden), &decoded); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, json.Unmarshal([]byte(golden), &decoded))
 		if !reflect.DeepEqual(&decoded, value) {
 			t.Errorf("%s: decoded as\n%+v\nwant\n%+v", file, &decoded, value)
 		}
@@ -96,8 +94,6 @@
 func readTestdata(t *testing.T, name string) string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("testdata", name))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return string(text)
 }
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -114,9 +115,7 @@
 	t.Helper()
 	r := &recorder{}
 	b, err := New(s, seed, r)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return b, r
 }
 
--- a/balancer/snapshot_test.go
+++ b/balancer/snapshot_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"testing"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -51,13 +52,9 @@
 	s := withTenants(testSettings())
 	old, now := trainedBalancer(t, s, readyEndpoints(6))
 	text, err := json.Marshal(old.LearnedState(now))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	var l LearnedState
-	if err := json.Unmarshal(text, &l); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, json.Unmarshal(text, &l))
 	list := readyEndpoints(6)
 	list[5].StartTime = old.endpointsByID[6].StartTime
 	const shift = 1_000 * second
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"dunlinsail/internal/fake/require"
 )
 
 // recordFiles hold settings, events, records, statistics and log lines, but no decision.
@@ -21,9 +23,7 @@
 func policyFiles(t *testing.T) []string {
 	t.Helper()
 	text, err := os.ReadFile("../deploy/balancer.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	list := regexp.MustCompile(`(?s)\npolicy = \[(.*?)\]`).FindStringSubmatch(string(text))
 	if list == nil {
 		t.Fatal("deploy/balancer.toml has no policy files")
@@ -38,9 +38,7 @@
 func readSource(t *testing.T, name string) string {
 	t.Helper()
 	text, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return string(text)
 }
 
@@ -75,9 +73,7 @@
 func TestPolicyFunctionsAndConstantsHaveComments(t *testing.T) {
 	for _, name := range policyFiles(t) {
 		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		for _, declaration := range f.Decls {
 			switch d := declaration.(type) {
 			case *ast.FuncDecl:
@@ -112,9 +108,7 @@
 
 func TestEveryFileIsListedOrHoldsNoDecision(t *testing.T) {
 	files, err := filepath.Glob("*.go")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	files = slices.DeleteFunc(files, func(name string) bool { return strings.HasSuffix(name, "_test.go") })
 	known := slices.Concat(policyFiles(t), recordFiles)
 	slices.Sort(known)
@@ -137,9 +131,7 @@
 		`"dunlinsail/internal/monotime"`: true}
 	for _, name := range slices.Concat(policyFiles(t), recordFiles) {
 		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		for _, i := range f.Imports {
 			if !allowed[i.Path.Value] {
 				t.Errorf("%s imports %s", name, i.Path.Value)
--- a/balancer/warmup_test.go
+++ b/balancer/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -163,9 +164,7 @@
 	for i := range balancers {
 		out := &recorder{}
 		b, err := New(s, uint64(i), out)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		b.Start(0)
 		b.UpdateEndpoints(0, ListCached, readyEndpoints(endpoints-1))
 		b.meanWork = ewma{value: work, samples: manySamples}
--- a/internal/accesslog/golden_test.go
+++ b/internal/accesslog/golden_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/parquet-go/parquet-go"
+
+	"dunlinsail/internal/fake/require"
 )
 
 // goldenSegment was written by an earlier build, before names in this package changed. It never changes.
@@ -75,18 +77,12 @@
 func readRaw(t *testing.T, path string) rawSegment {
 	t.Helper()
 	f, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	defer f.Close()
 	info, err := f.Stat()
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	file, err := parquet.OpenFile(f, info.Size())
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	raw := rawSegment{Schema: file.Schema().String(), Meta: map[string]string{}, Creator: file.Metadata().CreatedBy}
 	for _, path := range file.Schema().Columns() {
 		raw.Columns = append(raw.Columns, fmt.Sprint(path))
@@ -105,9 +101,7 @@
 			}
 			raw.Rows = append(raw.Rows, values)
 		}
-		if err := rows.Close(); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, rows.Close())
 	}
 	return raw
 }
--- a/internal/accesslog/record_test.go
+++ b/internal/accesslog/record_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"dunlinsail/internal/fake/require"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -33,9 +35,7 @@
 	}
 	o.Log = quiet
 	w, err := NewWriter(o)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(w.Close)
 	return w
 }
@@ -44,9 +44,7 @@
 func read(t *testing.T, paths ...string) *Recording {
 	t.Helper()
 	r, err := Read(paths...)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return r
 }
 
@@ -54,9 +52,7 @@
 func segments(t *testing.T, dir string) []string {
 	t.Helper()
 	all, err := filepath.Glob(filepath.Join(dir, "*.parquet"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return all
 }
 
@@ -122,21 +118,15 @@
 		t.Fatalf("%d segments", len(all))
 	}
 	text, err := os.ReadFile(all[1])
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	for name, bad := range map[string][]byte{
 		all[1]:                                  text[:len(text)/2],
 		filepath.Join(dir, "a-empty-1.parquet"): nil,
 		filepath.Join(dir, "a-none-1.parquet"):  []byte(strings.Repeat("PAR1", 100)),
 	} {
-		if err := os.WriteFile(name, bad, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := os.Remove(all[2]); err != nil {
-		t.Fatal(err)
+		require.NoError(t, os.WriteFile(name, bad, 0o600))
 	}
+	require.NoError(t, os.Remove(all[2]))
 	rec := read(t, dir, all[3])
 	if len(rec.Requests) != 200 || len(rec.Problems) != 3+100 {
 		t.Errorf("%d requests, %d problems: %.300q", len(rec.Requests), len(rec.Problems), rec.Problems)
@@ -159,9 +149,7 @@
 	}
 	w.Close()
 	text, err := os.ReadFile(segments(t, dir)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	rng := rand.New(rand.NewPCG(1, 1))
 	path := filepath.Join(t.TempDir(), "a-x-1.parquet")
 	for range 400 {
@@ -172,9 +160,7 @@
 		if rng.IntN(3) == 0 {
 			bad = bad[:rng.IntN(len(bad))]
 		}
-		if err := os.WriteFile(path, bad, 0o600); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, os.WriteFile(path, bad, 0o600))
 		if rec := read(t, path); len(rec.Requests) > 50 {
 			t.Fatalf("%d requests of 50", len(rec.Requests))
 		}
@@ -186,29 +172,21 @@
 func TestDiskThatTakesNothing(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "record")
 	w := writer(t, Options{Dir: dir, Instance: "a", Rows: 10, Keep: 8000})
-	if err := os.RemoveAll(dir); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.RemoveAll(dir))
 	if err := os.WriteFile(dir, nil, 0o600); err != nil { // where the folder was
 		t.Fatal(err)
 	}
 	addRows(w, 10, 0)
 	eventually(t, "no row counts as dropped", func() bool { return w.Dropped() == 10 })
-	if err := os.Remove(dir); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Mkdir(dir, 0o700); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.Remove(dir))
+	require.NoError(t, os.Mkdir(dir, 0o700))
 	addRows(w, 10, 1)
 	eventually(t, "no segment is written again", func() bool { return len(segments(t, dir)) == 1 })
 	if r := read(t, dir).Runs[0]; r.Missing != 10 || r.Dropped != 10 {
 		t.Errorf("%+v", r)
 	}
 	other := filepath.Join(dir, "a-b-x-000001.parquet")
-	if err := os.WriteFile(other, make([]byte, 50_000), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(other, make([]byte, 50_000), 0o600))
 	for n := range 10 {
 		addRows(w, 10, int64(n))
 		eventually(t, "a segment is missing", func() bool {
@@ -235,15 +213,11 @@
 	)
 	for _, name := range []string{ended, running, otherInstance} {
 		path := filepath.Join(dir, strings.Replace(name, "7fffffff", "zik0z", 1))
-		if err := os.WriteFile(path, nil, 0o600); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, os.WriteFile(path, nil, 0o600))
 	}
 	writer(t, Options{Dir: dir, Instance: "a"})
 	entries, err := os.ReadDir(dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	var names []string
 	for _, e := range entries {
 		names = append(names, e.Name())
@@ -352,9 +326,7 @@
 	if _, err := NewHasher(filepath.Join(dir, "none")); err == nil {
 		t.Error("no secret is accepted")
 	}
-	if err := os.WriteFile(filepath.Join(dir, "short"), []byte("secret"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "short"), []byte("secret"), 0o600))
 	if _, err := NewHasher(filepath.Join(dir, "short")); err == nil {
 		t.Error("a short secret is accepted")
 	}
@@ -385,13 +357,9 @@
 // hasherOf returns the hasher of a secret that is written to a file.
 func hasherOf(t *testing.T, path, secret string) *Hasher {
 	t.Helper()
-	if err := os.WriteFile(path, []byte(secret), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(path, []byte(secret), 0o600))
 	h, err := NewHasher(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return h
 }
 
@@ -428,9 +396,7 @@
 	w, err := NewWriter(Options{
 		Dir: b.TempDir(), Instance: "a", Sample: 1, Rows: 20_000, Age: time.Hour, Keep: 64 << 20, Log: quiet,
 	})
-	if err != nil {
-		b.Fatal(err)
-	}
+	require.NoError(b, err)
 	h := NewHasherFromSecret([]byte("0123456789abcdef"))
 	b.ReportAllocs()
 	for k := range b.N {
