--- a/cmd/dunlinsail/host_test.go
+++ b/cmd/dunlinsail/host_test.go
@@ -20,6 +20,7 @@
 
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/fake/freeport"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/takeover"
 )
@@ -50,14 +51,10 @@
 func newHost(t *testing.T) *host {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	defer ln.Close()
 	f, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { f.Close() })
 	h := &host{t: t, ln: f, addr: ln.Addr().String(), dir: t.TempDir()}
 	var list []string
@@ -76,9 +73,7 @@
 	text := strings.Replace(config, listed, strings.Join(list, ","), 1)
 	text = strings.Replace(text, `"classes":[`, `"classes":[`+payClass, 1)
 	h.config = filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(h.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(h.config, []byte(text), 0o600))
 	return h
 }
 
@@ -103,18 +98,14 @@
 func (h *host) startAs(program string) *process {
 	h.t.Helper()
 	adminAddress, err := freeport.Free()
-	if err != nil {
-		h.t.Fatal(err)
-	}
+	require.NoError(h.t, err)
 	p := &process{h: h, adminAddress: adminAddress, cmd: exec.Command(program), ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_LISTEN="+h.addr,
 		"ROUTER_OPERATOR="+adminAddress, "ROUTER_INHERITED_FD=3", "TMPDIR="+h.dir,
 		"GORACE=atexit_sleep_ms=0") // without the race detector's own wait at the end
 	p.cmd.ExtraFiles = []*os.File{h.ln}
 	p.cmd.Stderr = &p.log
-	if err := p.cmd.Start(); err != nil {
-		h.t.Fatal(err)
-	}
+	require.NoError(h.t, p.cmd.Start())
 	go func() { p.ended <- p.cmd.Wait() }()
 	h.t.Cleanup(func() { p.cmd.Process.Kill() })
 	return p
@@ -123,9 +114,7 @@
 // call makes an operator's call.
 func (p *process) call(method, path, body string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+p.adminAddress+path, strings.NewReader(body))
-	if err != nil {
-		p.h.t.Fatal(err)
-	}
+	require.NoError(p.h.t, err)
 	resp, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 	if err != nil {
 		return 0, err.Error()
@@ -215,9 +204,7 @@
 func (h *host) dial() net.Conn {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.addr)
-	if err != nil {
-		h.t.Fatal(err)
-	}
+	require.NoError(h.t, err)
 	h.t.Cleanup(func() { c.Close() })
 	return c
 }
@@ -308,9 +295,7 @@
 func (h *host) actAsPredecessor() *takeover.Listener {
 	h.t.Helper()
 	ln, err := takeover.Listen(filepath.Join(h.dir, "dunlinsail.takeover"))
-	if err != nil {
-		h.t.Fatal(err)
-	}
+	require.NoError(h.t, err)
 	h.t.Cleanup(func() { ln.Close() })
 	return ln
 }
@@ -320,21 +305,15 @@
 func (h *host) connectAsSuccessor(steps int) *takeover.Conn {
 	h.t.Helper()
 	c, err := takeover.Dial(filepath.Join(h.dir, "dunlinsail.takeover"))
-	if err != nil {
-		h.t.Fatal(err)
-	}
+	require.NoError(h.t, err)
 	for _, kind := range []decide.Event{decide.Hello, decide.Ready, decide.Prepared}[:steps] {
 		m := takeover.Message{Kind: kind}
 		if kind == decide.Hello {
 			m.Payload = fmt.Append(nil, decide.Version)
 		}
-		if err := c.Write(m); err != nil {
-			h.t.Fatal(err)
-		}
+		require.NoError(h.t, c.Write(m))
 		got, err := c.ReadWithin(scriptedpeer.WaitTimeout)
-		if err != nil {
-			h.t.Fatal(err)
-		}
+		require.NoError(h.t, err)
 		got.CloseFiles()
 	}
 	return c
--- a/cmd/dunlinsail/main_test.go
+++ b/cmd/dunlinsail/main_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"dunlinsail/internal/fake/require"
 )
 
 // TestMain runs the program itself where a test has started this binary for that.
@@ -32,9 +34,7 @@
 // The sidecar has to fit into a few megabytes: it links the standard library and this project, nothing else.
 func TestLinksNoLibrary(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", "-f", "{{with .Module}}{{.Path}}{{end}}", ".").Output()
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	for _, module := range strings.Fields(string(out)) {
 		if module != "dunlinsail" {
 			t.Errorf("it links %s", module)
@@ -45,21 +45,15 @@
 // SIGHUP does not end the program, whatever the file holds by then; SIGTERM ends it with 0.
 func TestSignals(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	addr := ln.Addr().String()
 	ln.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(file, []byte(config), 0o600))
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+file, "ROUTER_LISTEN="+addr)
 	cmd.Stderr = os.Stderr
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, cmd.Start())
 	defer cmd.Process.Kill()
 	ready := func() {
 		t.Helper()
@@ -75,17 +69,11 @@
 	}
 	ready()
 	for _, text := range []string{config, "{"} {
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 		ready()
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	if err := cmd.Wait(); err != nil {
 		t.Error("after SIGTERM:", err)
 	}
--- a/cmd/dunlinsail/size_test.go
+++ b/cmd/dunlinsail/size_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -72,9 +73,7 @@
 func peakMemoryKB(t *testing.T, pid int) (peak int) {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	_, after, _ := strings.Cut(string(status), "VmHWM:")
 	if _, err := fmt.Sscan(after, &peak); err != nil {
 		t.Fatal(err)
@@ -93,9 +92,7 @@
 	large := startLargeServer(t, size)
 	h := newHost(t)
 	text, err := os.ReadFile(h.config)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	known := strings.Replace(config, "127.0.0.1:1\",\"lifecycle", large+"\",\"lifecycle", 1)
 	limits := fmt.Sprintf(`"seed":"1f","limits":{"memory_mb":%d,"sockets":256},`, memoryMB)
 	known = strings.Replace(known, `"seed":"1f",`, limits, 1)
--- a/cmd/dunlinsail/upgrade_test.go
+++ b/cmd/dunlinsail/upgrade_test.go
@@ -18,6 +18,7 @@
 
 	"dunlinsail/internal/decide/cordon"
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/takeover"
 )
@@ -202,9 +203,7 @@
 		if i == steps {
 			break
 		}
-		if err := c.Write(takeover.Message{Kind: answer}); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, c.Write(takeover.Message{Kind: answer}))
 	}
 }
 
@@ -218,9 +217,7 @@
 			ln := h.actAsPredecessor()
 			p := h.start()
 			c, err := ln.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, err)
 			defer c.Close()
 			answerSteps(t, c, steps)
 			client := h.dial()
@@ -268,9 +265,7 @@
 			ln := h.actAsPredecessor()
 			p := h.start()
 			c, err := ln.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, err)
 			defer c.Close()
 			answerSteps(t, c, 3)
 			p.ready()
@@ -288,9 +283,7 @@
 			if _, err := io.WriteString(client, request); err != nil {
 				t.Fatal(err)
 			}
-			if err := c.HandOver(server); err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, c.HandOver(server))
 			server.Close()
 			if code, err := exchange(client, bufio.NewReader(client), ""); code != 200 {
 				t.Errorf("the request on a connection that was handed over: %d, %v", code, err)
@@ -339,14 +332,10 @@
 func connectedPair(t *testing.T) (client, server net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	defer ln.Close()
 	client, err = net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { client.Close() })
 	if server, err = ln.Accept(); err != nil {
 		t.Fatal(err)
@@ -369,12 +358,8 @@
 			t.Parallel()
 			h := newHost(t)
 			cordons, err := json.Marshal([]cordon.Record{{Name: "s-0", Cordoned: true, At: 1}})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(filepath.Join(h.dir, "dunlinsail.words"), cordons, 0o600); err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(filepath.Join(h.dir, "dunlinsail.words"), cordons, 0o600))
 			ln := h.actAsPredecessor()
 			over := make(chan struct{})
 			go func() { // until the successor closes the connection
@@ -448,9 +433,7 @@
 	h := newHost(t)
 	p := h.start().ready()
 	h.requestOnce("GET", "/look/1", "")
-	if err := syscall.SetNonblock(int(h.ln.Fd()), false); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, syscall.SetNonblock(int(h.ln.Fd()), false))
 	h.requestOnce("GET", "/look/1", "") // after it the process calls accept with no connection in the queue
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	p.ends()
@@ -460,9 +443,7 @@
 func TestInheritedSocket(t *testing.T) {
 	h := newHost(t)
 	r, w, err := os.Pipe()
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	defer r.Close()
 	defer w.Close()
 	h.ln = r
--- a/internal/daemon/accesslog_test.go
+++ b/internal/daemon/accesslog_test.go
@@ -12,6 +12,7 @@
 	"dunlinsail/internal/accesslog"
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 )
 
 // recording edits a file so that a record is kept, and returns its folder.
@@ -19,9 +20,7 @@
 	t.Helper()
 	dir = filepath.Join(w.dir, "record")
 	secret := filepath.Join(w.dir, "secret")
-	if err := os.WriteFile(secret, []byte("0123456789abcdef"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(secret, []byte("0123456789abcdef"), 0o600))
 	record := "[record]\ndir = \"" + dir + "\"\nsecret = \"" + secret + "\"\nsegment_rows = 100\n"
 	return dir, "[process]", record + "[process]"
 }
@@ -149,9 +148,7 @@
 	if err == nil || !strings.Contains(err.Error(), "access record") {
 		t.Errorf("without its secret: %v", err)
 	}
-	if err := os.WriteFile(dir, nil, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(dir, nil, 0o600))
 	err = Run(context.Background(), Options{Config: w.config(t, was, is), Log: testLog()})
 	if err == nil || !strings.Contains(err.Error(), "access record") {
 		t.Errorf("with a file in place of the folder: %v", err)
--- a/internal/daemon/client_processes_test.go
+++ b/internal/daemon/client_processes_test.go
@@ -15,6 +15,7 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -69,9 +70,7 @@
 	var all []*program
 	for i := range n {
 		options, err := json.Marshal(mixedLoad(c, i))
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		all = append(all, spawn(t, "client", string(options)))
 	}
 	return all
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -203,9 +204,7 @@
 func TestReload(t *testing.T) {
 	w := newTestFleet(t, 2, endpoint.Options{})
 	one, err := discoveryserver.Start(w.entry(1))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	defer one.Close()
 	d := start(t, w.config(t))
 	k := dial(t, "unix", d.addrs["local"])
@@ -238,9 +237,7 @@
 	w := newTestFleet(t, 1, endpoint.Options{})
 	path := w.dir + "/clients.sock"
 	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	ln.SetUnlinkOnClose(false)
 	c := w.config(t, `socket = "`+w.dir+`/takeover.sock"`, `socket = ""`)
 	failing := func(want string) {
@@ -256,11 +253,7 @@
 	ln.Close()
 	d := start(t, c)
 	d.stop()
-	if err := scriptedpeer.Receive(t, d.ended, "end"); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, scriptedpeer.Receive(t, d.ended, "end"))
+	require.NoError(t, os.WriteFile(path, []byte("x"), 0o600))
 	failing("is no socket")
 }
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -11,6 +11,7 @@
 
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -78,9 +79,7 @@
 	var sits []net.Conn
 	for range 25 {
 		c, err := net.Dial("tcp", d.addrs["desk"])
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		defer c.Close()
 		sits = append(sits, c)
 	}
@@ -110,9 +109,7 @@
 	var slow []net.Conn
 	for range 60 {
 		c, err := net.Dial("tcp", d.addrs["desk"])
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		defer c.Close()
 		c.(*net.TCPConn).SetReadBuffer(2048)
 		for range 3 { // it does not wait for its answers, and reads none
--- a/internal/daemon/golden_test.go
+++ b/internal/daemon/golden_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"os"
 	"testing"
+
+	"dunlinsail/internal/fake/require"
 )
 
 // The golden files were written by the build of commit 870f4ac with every field set. They are never changed:
@@ -16,18 +18,12 @@
 	} {
 		t.Run(file, func(t *testing.T) {
 			golden, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, err)
 			d := json.NewDecoder(bytes.NewReader(golden))
 			d.DisallowUnknownFields()
-			if err := d.Decode(value); err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, d.Decode(value))
 			encoded, err := json.Marshal(value)
-			if err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, err)
 			if !bytes.Equal(encoded, golden) {
 				t.Errorf("encoded again:\n%s\nwant:\n%s", encoded, golden)
 			}
--- a/internal/daemon/helper_test.go
+++ b/internal/daemon/helper_test.go
@@ -31,6 +31,7 @@
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
@@ -62,9 +63,7 @@
 	for i := range n {
 		o.Name = fmt.Sprint("s-", i)
 		s, err := endpoint.Start(o)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		t.Cleanup(s.Close)
 		w.endpoints = append(w.endpoints, s)
 		entries = append(entries, w.entry(i))
@@ -187,9 +186,7 @@
 func (w *testFleet) config(t *testing.T, edits ...string) *config.Config {
 	t.Helper()
 	c, err := config.Parse([]byte(w.file(edits...)))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return c
 }
 
@@ -231,9 +228,7 @@
 			return nil, errors.New("unreadable")
 		},
 	})
-	if err := r.process.assembleFirst(); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, r.process.assembleFirst())
 	r.generation = r.process.serving.generation
 	go func() {
 		r.ended <- r.process.run()
@@ -319,9 +314,7 @@
 func dial(t *testing.T, network, addr string) *clientConn {
 	t.Helper()
 	c, err := net.Dial(network, addr)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	return &clientConn{c, bufio.NewReader(c)}
 }
@@ -427,12 +420,8 @@
 	cmd.Stderr = os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
 	p := &program{cmd, make(chan string, 1<<10), make(chan error, 1)}
 	go func() {
 		in := bufio.NewScanner(out)
--- a/internal/daemon/predecessor_test.go
+++ b/internal/daemon/predecessor_test.go
@@ -7,6 +7,7 @@
 
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/takeover"
 )
@@ -93,9 +94,7 @@
 	g, next, serving := w.startSuccessor(t)
 	g.send(decide.Offer, `{"State":"`+base64(state)+`"}`)
 	g.expect(decide.Ready)
-	if err := g.Write(takeover.Message{Kind: decide.Handover, Payload: state}); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, g.Write(takeover.Message{Kind: decide.Handover, Payload: state}))
 	g.expect(decide.Prepared)
 	g.send(decide.Activate, "")
 	next.addrs = scriptedpeer.Receive(t, serving, "a daemon that serves")
@@ -181,12 +180,8 @@
 	// A killed process leaves sockets at whose paths no process listens.
 	for _, path := range []string{"/takeover.sock", "/clients.sock"} {
 		fd := must(syscall.Socket(syscall.AF_UNIX, syscall.SOCK_SEQPACKET, 0))
-		if err := syscall.Bind(fd, &syscall.SockaddrUnix{Name: w.dir + path}); err != nil {
-			t.Fatal(err)
-		}
-		if err := syscall.Close(fd); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, syscall.Bind(fd, &syscall.SockaddrUnix{Name: w.dir + path}))
+		require.NoError(t, syscall.Close(fd))
 	}
 	d := start(t, c)
 	d.stillServes(t)
--- a/internal/daemon/rollout_fleet_test.go
+++ b/internal/daemon/rollout_fleet_test.go
@@ -9,6 +9,7 @@
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
 )
@@ -97,9 +98,7 @@
 			awaitAnswers(t, s, version, invalid[0].answer, nodes)
 			invalid = invalid[1:]
 		case "harmful":
-			if err := s.SetResourcesForNodes(version, harmfulVersion, nodes[:1]...); err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, s.SetResourcesForNodes(version, harmfulVersion, nodes[:1]...))
 			awaitAnswers(t, s, version, "refused: worse by service", nodes[:1])
 			if len(s.Answers(nodes[1], version)) > 0 {
 				t.Error("the harmful version was sent to another node, too")
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -14,6 +14,7 @@
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/fake/client"
 	"dunlinsail/internal/fake/endpoint"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/xdsserver"
 )
@@ -109,9 +110,7 @@
 // set sends a version to all nodes.
 func set(t *testing.T, s *xdsserver.Server, version string, all []config.Resource, release map[string]any) {
 	t.Helper()
-	if err := s.SetResources(version, all, release); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, s.SetResources(version, all, release))
 }
 
 // steady starts a client with a constant rate of requests a second. end stops it and returns its report.
@@ -248,20 +247,14 @@
 	checkStart("a file that pins it", "2 over file 1", 3, append(pinned, "[attempts]", "[attempts]\nmost = 3")...)
 	unmanaged := w.managed(addr, "i-1", w.controlPlane.Address, "", "plaintext = true", "")
 	checkStart("without a service", "file 1", 3, append(unmanaged, "[attempts]", "[attempts]\nmost = 3")...)
-	if err := os.Truncate(filepath.Join(state, "state"), 60); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.Truncate(filepath.Join(state, "state"), 60))
 	checkStart("a state that is cut off", "1 over file 1", 4, edits...)
 	for _, name := range []string{"state", "state.before"} {
-		if err := os.WriteFile(filepath.Join(state, name), []byte("no"), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, os.WriteFile(filepath.Join(state, name), []byte("no"), 0o600))
 	}
 	checkStart("nothing sound", "file 1", 3, edits...)
 	os.RemoveAll(state)
-	if err := os.WriteFile(state, nil, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(state, nil, 0o600))
 	checkStart("no folder", "file 1", 3, edits...)
 }
 
@@ -272,9 +265,7 @@
 	d := start(t, w.config(t, w.managed(freeAddr(t), "i-1")...))
 	scriptedpeer.Eventually(t, "a stream", func() bool { return s.StreamsOpened() > 0 })
 	state := filepath.Join(w.dir, "i-1")
-	if err := os.Symlink("/dev/full", filepath.Join(state, "state.part")); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.Symlink("/dev/full", filepath.Join(state, "state.part")))
 	os.Remove(state + "/state")                             // if the file's version was saved already
 	if err := os.Mkdir(state+"/state", 0o700); err != nil { // no file can replace a folder
 		t.Fatal(err)
@@ -363,9 +354,7 @@
 			set(t, s, "1", maxAttemptsResource(2), nil)
 		}
 		scriptedpeer.Eventually(t, "a trial", func() bool { return len(s.Answers("", "1")) == n+1 })
-		if err := p.Process.Kill(); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, p.Process.Kill())
 		<-p.ended
 	}
 	p := spawn(t, "daemon", w.file(edits...))
--- a/internal/daemon/routes_test.go
+++ b/internal/daemon/routes_test.go
@@ -18,6 +18,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/differential"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/webapp"
 )
@@ -26,9 +27,7 @@
 func newApp(t *testing.T, runs func(id string, whole bool)) *webapp.App {
 	t.Helper()
 	a, err := webapp.Start(runs)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(a.Close)
 	return a
 }
@@ -37,9 +36,7 @@
 func parse(t *testing.T, text string, edits ...string) *config.Config {
 	t.Helper()
 	c, err := config.Parse([]byte(strings.NewReplacer(edits...).Replace(text)))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return c
 }
 
@@ -85,9 +82,7 @@
 	defer proxy.Close()
 	cases := differential.Generate(1, 400)
 	all, err := differential.Run(context.Background(), addr, proxy.Listener.Addr().String(), cases)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	without, reasons := differential.Unexplained(all)
 	for i, d := range without {
 		if i < 12 {
@@ -151,9 +146,7 @@
 		resp, _ := dial(t, "tcp", addr).request(t,
 			"GET / HTTP/1.1\r\nHost: h:1\r\nX-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\n\r\n")
 		var got webapp.ObservedRequest
-		if err := json.Unmarshal([]byte(resp.Header.Get(webapp.ObservedRequestHeader)), &got); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, json.Unmarshal([]byte(resp.Header.Get(webapp.ObservedRequestHeader)), &got))
 		if text := webapp.HeaderText(got.Header); text != tc.want {
 			t.Errorf("%q: %s, want %s", tc.edits, text, tc.want)
 		}
@@ -237,12 +230,8 @@
 		all = append(all, fmt.Sprintf(`{"instanceId":"f-%d","hostPort":%q,"lifecycle":"up","weight":1}`, i, a.Addr))
 	}
 	text := `{"instances":[` + strings.Join(all, ",") + `]}`
-	if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Rename(file+".new", file); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(file+".new", []byte(text), 0o600))
+	require.NoError(t, os.Rename(file+".new", file))
 }
 
 // A successor takes over the learned state of each pool, with the list of its own file. A response that streams ends in
--- a/internal/daemon/scripted_takeover_test.go
+++ b/internal/daemon/scripted_takeover_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	decide "dunlinsail/internal/decide/takeover"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/takeover"
 )
@@ -23,9 +24,7 @@
 func connectAsSuccessor(t *testing.T, path string) *scriptedSuccessor {
 	t.Helper()
 	c, err := takeover.Dial(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	k := &scriptedSuccessor{t, c}
 	k.send(decide.Hello, fmt.Sprint(decide.Version))
@@ -34,9 +33,7 @@
 
 func (k *scriptedSuccessor) send(kind decide.Event, text string) {
 	k.Helper()
-	if err := k.Write(takeover.Message{Kind: kind, Payload: []byte(text)}); err != nil {
-		k.Fatal(err)
-	}
+	require.NoError(k, k.Write(takeover.Message{Kind: kind, Payload: []byte(text)}))
 }
 
 // expect waits for a message of a kind. It skips connections that are handed over.
@@ -67,9 +64,7 @@
 func actAsPredecessor(t *testing.T, path string, took func()) *scriptedPredecessor {
 	t.Helper()
 	ln, err := takeover.Listen(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	got := make(chan *takeover.Conn, 1)
 	go func() {
@@ -90,18 +85,12 @@
 func (g *scriptedPredecessor) waitReceived() {
 	g.Helper()
 	ours, theirs, err := os.Pipe()
-	if err != nil {
-		g.Fatal(err)
-	}
+	require.NoError(g, err)
 	defer ours.Close()
 	err = g.Write(takeover.Message{Kind: takeover.Cordons, Payload: []byte("[]"), Sockets: []syscall.Conn{theirs}})
 	theirs.Close()
-	if err != nil {
-		g.Fatal(err)
-	}
-	if err := ours.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout)); err != nil {
-		g.Fatal(err)
-	}
+	require.NoError(g, err)
+	require.NoError(g, ours.SetReadDeadline(time.Now().Add(scriptedpeer.WaitTimeout)))
 	if n, err := ours.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
 		g.Fatalf("waiting until the messages are handled: %d bytes, %v", n, err)
 	}
--- a/internal/daemon/spentlog_test.go
+++ b/internal/daemon/spentlog_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dunlinsail/internal/decide/coordination"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/peers"
 )
 
@@ -17,16 +18,12 @@
 func TestSpentUnitsKeepTheirStoredForm(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "spent")
 	s, err := openSpentLog(path, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	s.record(1, "tenant/one")
 	s.record(2, "further")
 	s.close()
 	stored, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	if !regexp.MustCompile(`^\d+ tenant/one\n\d+ further\n$`).Match(stored) {
 		t.Errorf("stored %q", stored)
 	}
@@ -45,9 +42,7 @@
 		Fleet:  coordination.View{Active: true, Allocator: "instance-1"},
 		Gossip: peers.Stats{Sent: 1, Received: 2, Bytes: 3, Dropped: 4, Malformed: 5},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	want := `{"Name":"instance-1",` +
 		`"Members":[{"Name":"instance-2","Address":"127.0.0.1:7","Alive":true,"Since":"2023-11-14T22:13:20Z"}],` +
 		`"Fleet":{"Begun":true,"Book":"instance-1","HeardAgo":0,"Loan":0,` +
--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
@@ -193,9 +194,7 @@
 	cfg := configureStatic(t, instances(addr), `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
 	c := s.dial(t)
-	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, request("POST", "/pay", "pay", 60000, "x").Write(c))
 	scriptedpeer.Receive(t, taken, "attempt")
 	c.Close()
 	if err := scriptedpeer.Receive(t, ended, "end of the attempt"); !errors.Is(err, io.EOF) {
--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
@@ -67,9 +68,7 @@
 func requestText(t *testing.T, r *http.Request) string {
 	t.Helper()
 	var b bytes.Buffer
-	if err := r.Write(&b); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, r.Write(&b))
 	return b.String()
 }
 
--- a/internal/sidecar/endpoint_connlimit_test.go
+++ b/internal/sidecar/endpoint_connlimit_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"testing"
 
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -58,9 +59,7 @@
 func startFullEndpoint(t *testing.T) *fullEndpoint {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	e := &fullEndpoint{
 		ln:      &cappedListener{Listener: inner, maxOpen: 1},
 		arrived: make(chan struct{}, 100),
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"dunlinsail/internal/eventlog"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -23,13 +24,9 @@
 		}
 	}
 	s.stop()
-	if err := <-s.ended; err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, <-s.ended)
 	got, err := eventlog.Read(&out)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	n := map[eventlog.Kind]int{}
 	for _, e := range got {
 		n[e.Kind]++
--- a/internal/sidecar/golden_test.go
+++ b/internal/sidecar/golden_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"dunlinsail/internal/decide/cordon"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/platform"
 )
@@ -17,13 +18,9 @@
 // other process may be of another build.
 func TestCordonsOfEarlierBuild(t *testing.T) {
 	golden, err := os.ReadFile("testdata/words.golden.json")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	dir := t.TempDir()
-	if err := os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "dunlinsail.words"), golden, 0o600))
 	s := &sidecar{config: &platform.Config{SharedDir: dir}, log: scriptedpeer.DiscardLog}
 	cordons := s.readCordons()
 	want := []cordon.Record{
@@ -34,9 +31,7 @@
 		t.Fatalf("read %+v, want %+v", cordons, want)
 	}
 	encoded, err := json.Marshal(cordons)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	if !bytes.Equal(encoded, golden) {
 		t.Errorf("encoded again: %s, want %s", encoded, golden)
 	}
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/platform"
@@ -54,9 +55,7 @@
 func (s *running) dial(t *testing.T) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", s.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	return c
 }
@@ -80,13 +79,9 @@
 		"seed": "8c1f30d27a5be964", "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
 		"known":    discovery.List{Generation: 7, Reset: true, Instances: known},
 		"settings": json.RawMessage(strings.NewReplacer(edits...).Replace(settings))})
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	c, err := platform.Parse(text, func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return c
 }
 
@@ -111,13 +106,9 @@
 func startDialing(t *testing.T, c *platform.Config, dial dialFunc) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	parts, err := assemble(c, dial, scriptedpeer.DiscardLog)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return serve(t, parts, ln)
 }
 
@@ -190,9 +181,7 @@
 // requestOn sends a request on a connection and returns the complete response.
 func (s *running) requestOn(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
 	t.Helper()
-	if err := r.Write(c); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, r.Write(c))
 	resp := readHead(t, c, r)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
@@ -76,9 +77,7 @@
 func loopback(t *testing.T) *net.TCPListener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return ln.(*net.TCPListener)
 }
 
@@ -86,9 +85,7 @@
 func serveOn(t *testing.T, ln net.Listener, endpoint discovery.Instance) *running {
 	t.Helper()
 	parts, err := assemble(configureStatic(t, []discovery.Instance{endpoint}), nil, scriptedpeer.DiscardLog)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	return serve(t, parts, ln)
 }
 
@@ -203,9 +200,7 @@
 func unread(t *testing.T, c *net.TCPConn) bool {
 	t.Helper()
 	raw, err := c.SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	n := 0
 	if err := raw.Control(func(fd uintptr) {
 		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
