--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -28,7 +28,7 @@
 		ControlPlane: defaultControlPlane(),
 		Connections:  Connections{MaxIdleTime: seconds(15), MinIdleTime: millis(100)},
 		Requests:     Requests{MaxOpen: 2000, MinInFlight: 4, MaxInFlight: 1000},
-		Fleet:        Fleet{Instances: 1, KeepAlive: seconds(15), OverShareWeight: 1, WeightBy: "request"},
+		Fleet:        Fleet{Instances: 1, KeepAlive: seconds(15), OverQuotaWeight: 1, WeightBy: "request"},
 		Attempts: Attempts{
 			MaxAttempts:    3,
 			Cancel:         true,
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -29,9 +29,9 @@
 	// KeepAlive is after how long endpoints close an idle connection: default 15s, positive.
 	KeepAlive stricttoml.Duration `toml:"keep_alive"`
 
-	// OverShareWeight is the part of its priority weight that a request beyond its tenant's share has: default 1, which
+	// OverQuotaWeight is the part of its priority weight that a request over its tenant's quota has: default 1, which
 	// turns this off, 0 to 1.
-	OverShareWeight float64 `toml:"over_share_worth"`
+	OverQuotaWeight float64 `toml:"over_share_worth"`
 
 	// WeightBy is "request", the default, or "work": priority weights then count per unit of work.
 	WeightBy string `toml:"worth_by"`
--- a/internal/config/requests.go
+++ b/internal/config/requests.go
@@ -40,8 +40,8 @@
 	// Name identifies the tenant, and must be unique.
 	Name string `toml:"name"`
 
-	// Allowance is the tenant's share in requests a second over all instances: default 0. Requests beyond it have the
-	// part Fleet.OverShareWeight of their weight.
+	// Allowance is the tenant's quota in requests a second over all instances: default 0. Requests beyond it have the
+	// part Fleet.OverQuotaWeight of their weight.
 	Allowance float64 `toml:"allowance"`
 
 	// Share is the tenant's part of the service: default 0, 0 to 1. It is not used by the balancer.
--- a/internal/config/validate_site.go
+++ b/internal/config/validate_site.go
@@ -57,8 +57,8 @@
 		f.EndpointIdle)
 	v.Require(f.EndpointProbes >= 0 && f.EndpointProbes <= 1e6, "fleet.node_probes", "%v: must be in 0..1000000",
 		f.EndpointProbes)
-	v.Require(f.OverShareWeight >= 0 && f.OverShareWeight <= 1, "fleet.over_share_worth", "%v: must be in 0..1",
-		f.OverShareWeight)
+	v.Require(f.OverQuotaWeight >= 0 && f.OverQuotaWeight <= 1, "fleet.over_share_worth", "%v: must be in 0..1",
+		f.OverQuotaWeight)
 }
 
 func (v *validator) attemptsAndRules(a *Attempts, ru *Rules) {
@@ -99,7 +99,7 @@
 		Zone:            max(0, slices.Index(f.Zones, f.Zone)),
 		Subscribe:       subscribe,
 		RetryRatio:      a.RetryBudget,
-		OverQuotaWeight: f.OverShareWeight,
+		OverQuotaWeight: f.OverQuotaWeight,
 		WeightByWork: stricttoml.Enum(&v.Validation, "fleet.worth_by", f.WeightBy,
 			map[string]bool{"request": false, "work": true}),
 		Limits: balancer.Limits{
--- a/internal/decide/zones/router.go
+++ b/internal/decide/zones/router.go
@@ -10,7 +10,7 @@
 type Request struct {
 	Group        int  // index in Settings.ZonePreferences
 	Class        int  // index in Settings.ClassWeights
-	OverShare    bool // it is over its tenant's share
+	OverQuota    bool // it is over its tenant's quota
 	RequiredZone int  // the only zone that it may go to, since an attempt may have run there; -1 is none
 }
 
--- a/internal/decide/zones/spill.go
+++ b/internal/decide/zones/spill.go
@@ -11,13 +11,13 @@
 
 // admitsSpill decides whether a zone that is up takes a request of another zone, by its spill in flight: less than
 // MaxSpareFraction of the learned limit that its own requests leave, less what is reserved for classes with a higher
-// priority weight, times spillFactor. Requests over their tenant's share rank behind all classes. Less than one
+// priority weight, times spillFactor. Requests over their tenant's quota rank behind all classes. Less than one
 // request is a chance for one.
 func (t *Router) admitsSpill(z *zone, r Request) bool {
 	free := math.Max(0, float64(z.limiter.Limit()-(z.inFlight-z.spillInFlight)))
 	spare := t.settings.MaxSpareFraction * free
 	rank := t.classRanks[r.Class]
-	if r.OverShare {
+	if r.OverQuota {
 		rank = 1
 	}
 	spare *= (1 - reservedFraction*rank) * z.spillFactor
--- a/internal/decide/zones/zones_test.go
+++ b/internal/decide/zones/zones_test.go
@@ -448,7 +448,7 @@
 				r := Request{
 					Group:        rng.IntN(3),
 					Class:        rng.IntN(2),
-					OverShare:    rng.IntN(4) == 0,
+					OverQuota:    rng.IntN(4) == 0,
 					RequiredZone: max(-1, rng.IntN(8)-5),
 				}
 				a := router.Choose(now, r)
