--- /dev/null
+++ b/internal/decide/reuse/delay.go
@@ -0,0 +1,72 @@
+package reuse
+
+import (
+	"dunlinsail/internal/decide/stall"
+	"dunlinsail/internal/monotime"
+)
+
+const (
+	// delayPeriod is the least time for which a delay of this process counts.
+	delayPeriod = 3 * monotime.Second
+
+	// minDelay is the delay from which on this process counts as late. Less is the usual delay of a timer.
+	minDelay = 2 * monotime.Millisecond
+
+	// unknownDelay is assumed of a process with less than minObservations.
+	unknownDelay    = 25 * monotime.Millisecond
+	minObservations = 20
+)
+
+// delayWindow holds the longest delay of this process in the present period and in the one before it.
+type delayWindow struct {
+	present   monotime.Micros
+	previous  monotime.Micros
+	presentAt monotime.Micros // instant at which the present period began
+	count     int             // observations, up to minObservations
+}
+
+// add adds a delay.
+func (w *delayWindow) add(now, delay monotime.Micros) {
+	w.advance(now)
+	w.count = min(w.count+1, minObservations)
+	if delay >= minDelay {
+		w.present = max(w.present, delay)
+	}
+}
+
+// longest returns the longest delay of the last delayPeriod, or somewhat longer.
+func (w *delayWindow) longest(now monotime.Micros) monotime.Micros {
+	w.advance(now)
+	if w.count < minObservations {
+		return max(w.present, w.previous, unknownDelay)
+	}
+	return max(w.present, w.previous)
+}
+
+// advance begins a new period if the present one is over.
+func (w *delayWindow) advance(now monotime.Micros) {
+	elapsed := now - w.presentAt
+	if elapsed < delayPeriod {
+		return
+	}
+	w.previous = w.present
+	if elapsed >= 2*delayPeriod {
+		w.previous = 0
+	}
+	w.present = 0
+	w.presentAt = now
+}
+
+// ObserveDelay takes into account that this process runs now and was due a delay ago.
+func (d *Decider) ObserveDelay(now, delay monotime.Micros) {
+	d.delays.add(now, delay)
+	if delay >= minDelay {
+		d.stalls.Add(stall.Interval{From: now - delay, To: now})
+	}
+}
+
+// running returns for how much of the time since an instant this process has run. While it did not, endpoints on the
+// same machine may not have run either.
+func (d *Decider) running(now, since monotime.Micros) monotime.Micros {
+	return now - since - d.stalls.Within(since, now)
+}
--- /dev/null
+++ b/internal/decide/reuse/reuse_test.go
@@ -0,0 +1,187 @@
+package reuse
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinsail/internal/monotime"
+)
+
+const ms = monotime.Millisecond
+
+var (
+	testSettings = Settings{Rest: 20 * ms, DistrustedRest: 40 * ms}
+	testEndpoint = Endpoint{Pool: "clinic", Address: "127.0.0.1:1"}
+	samePool     = Endpoint{Pool: "clinic", Address: "127.0.0.1:2"}
+	otherPool    = Endpoint{Pool: "archive", Address: "127.0.0.1:3"}
+)
+
+// newPunctual returns a Decider of a process that has observed itself for long enough, and never ran late.
+func newPunctual(s Settings) *Decider {
+	d := New(s)
+	for range minObservations {
+		d.ObserveDelay(0, 0)
+	}
+	return d
+}
+
+// checkRest checks the rests of testEndpoint, samePool and otherPool.
+func checkRest(t *testing.T, d *Decider, now monotime.Micros, want ...monotime.Micros) {
+	t.Helper()
+	for i, e := range []Endpoint{testEndpoint, samePool, otherPool} {
+		if got := d.Rest(now, e); got != want[i] {
+			t.Errorf("rest at %v: %d, want %d", e, got, want[i])
+		}
+	}
+}
+
+// A process that has not observed itself for long assumes that it may run late.
+func TestUnobservedProcessRestsLonger(t *testing.T) {
+	d := New(testSettings)
+	for range minObservations {
+		checkRest(t, d, 0, 120*ms, 120*ms, 120*ms)
+		d.ObserveDelay(0, 0)
+	}
+	checkRest(t, d, 0, 20*ms, 20*ms, 20*ms)
+	d = New(testSettings)
+	d.ObserveDelay(0, 50*ms)
+	checkRest(t, d, 0, 220*ms, 220*ms, 220*ms)
+}
+
+// A second response makes connections rest longer at its address and in its pool, by its lateness, until it is
+// forgotten. If the response before it may have been misdelivered, the worst case is assumed in the pool for a while.
+func TestRestFollowsLateness(t *testing.T) {
+	for _, c := range []struct {
+		lateness, interval monotime.Micros
+		assumed            monotime.Micros // rest in the pool at first
+		atAddress, inPool  monotime.Micros // rests later
+		suspect            bool
+	}{
+		{lateness: 5 * ms, assumed: 20 * ms, atAddress: 40 * ms, inPool: 20 * ms},
+		{lateness: 30 * ms, assumed: 60 * ms, atAddress: 120 * ms, inPool: 60 * ms},
+		{lateness: 150 * ms, assumed: 300 * ms, atAddress: 600 * ms, inPool: 300 * ms},
+		{lateness: 1000 * ms, assumed: 2000 * ms, atAddress: 4000 * ms, inPool: 2000 * ms},
+		{lateness: 1001 * ms, assumed: 20 * ms, atAddress: 40 * ms, inPool: 20 * ms}, // no second response to a request
+		{3 * ms, 60 * ms, 120 * ms, 40 * ms, 20 * ms, true},
+		{60 * ms, 25 * ms, 120 * ms, 100 * ms, 50 * ms, true},
+		{3 * ms, 300 * ms, 20 * ms, 40 * ms, 20 * ms, true}, // later than what is assumed
+		{0, 60 * ms, 20 * ms, 40 * ms, 20 * ms, true},       // it came together with the response before it
+		{lateness: 3 * ms, interval: 2000 * ms, assumed: 20 * ms, atAddress: 40 * ms, inPool: 20 * ms},
+	} {
+		t.Run(fmt.Sprint(c.lateness, c.interval), func(t *testing.T) {
+			d := newPunctual(testSettings)
+			suspect := d.ObserveSecondResponse(0, SecondResponse{testEndpoint, c.lateness, c.interval})
+			if suspect != c.suspect {
+				t.Errorf("suspect %v, want %v", suspect, c.suspect)
+			}
+			checkRest(t, d, assumedPeriod-1, max(c.assumed, c.atAddress), c.assumed, 20*ms)
+			checkRest(t, d, assumedPeriod, c.atAddress, c.inPool, 20*ms)
+			checkRest(t, d, evidencePeriod-1, c.atAddress, c.inPool, 20*ms)
+			checkRest(t, d, evidencePeriod, 20*ms, 20*ms, 20*ms)
+		})
+	}
+}
+
+// Where a lateness is certain in a pool, the worst case is not assumed of second responses that are no later.
+func TestCertainLatenessExplainsOthers(t *testing.T) {
+	d := newPunctual(testSettings)
+	ambiguous := SecondResponse{Endpoint: testEndpoint, Lateness: 5 * ms, Interval: 200 * ms}
+	d.ObserveSecondResponse(0, ambiguous)
+	checkRest(t, d, 0, 400*ms, 400*ms, 20*ms)
+	d.ObserveSecondResponse(0, SecondResponse{Endpoint: samePool, Lateness: 15 * ms})
+	checkRest(t, d, 0, 40*ms, 60*ms, 20*ms)
+	d.ObserveSecondResponse(0, ambiguous)
+	checkRest(t, d, 0, 40*ms, 60*ms, 20*ms)
+	d.ObserveSecondResponse(0, SecondResponse{Endpoint: testEndpoint, Lateness: 16 * ms, Interval: 70 * ms})
+	checkRest(t, d, 0, 140*ms, 140*ms, 20*ms)
+	d.ObserveSecondResponse(0, SecondResponse{Endpoint: samePool})
+	d.ObserveSecondResponse(0, ambiguous)
+	checkRest(t, d, 0, 64*ms, 60*ms, 20*ms)
+}
+
+// Delays of this process lengthen all rests for a while, up to a bound.
+func TestRestFollowsDelays(t *testing.T) {
+	d := newPunctual(testSettings)
+	d.ObserveDelay(0, minDelay-1)
+	checkRest(t, d, 0, 20*ms, 20*ms, 20*ms)
+	d.ObserveDelay(0, 10*ms)
+	d.ObserveDelay(1, 5*ms)
+	checkRest(t, d, delayPeriod, 60*ms, 60*ms, 60*ms)
+	checkRest(t, d, 2*delayPeriod, 20*ms, 20*ms, 20*ms)
+	d.ObserveDelay(2*delayPeriod, 10*monotime.Second)
+	checkRest(t, d, 2*delayPeriod, 20*ms+maxDelayRest, 20*ms+maxDelayRest, 20*ms+maxDelayRest)
+	checkRest(t, d, 10*delayPeriod, 20*ms, 20*ms, 20*ms)
+}
+
+// Times for which this process did not run are no rest, however long they were.
+func TestDelaysAreNoRest(t *testing.T) {
+	d := newPunctual(testSettings)
+	for _, c := range []struct{ elapsed, want monotime.Micros }{{0, 20 * ms}, {5 * ms, 15 * ms}, {20 * ms, 0}, {21 * ms, 0}} {
+		if got := d.Left(1000*ms, testEndpoint, c.elapsed); got != c.want {
+			t.Errorf("%d left after %d, want %d", got, c.elapsed, c.want)
+		}
+	}
+	now := 100 * monotime.Second
+	d.ObserveDelay(now, 5*monotime.Second)
+	rest := d.Rest(now, testEndpoint)
+	if got := d.Left(now, testEndpoint, 5010*ms); got != rest-10*ms {
+		t.Errorf("%d left after a pause, want %d", got, rest-10*ms)
+	}
+	now += 4 * delayPeriod
+	if got := d.Left(now, testEndpoint, 4*delayPeriod+5015*ms); got != 0 {
+		t.Errorf("%d left after a long rest, want none", got)
+	}
+}
+
+// Without a rest connections are reused at once, whatever was seen; with one for distrusted addresses only, at others.
+func TestRestsThatAreTurnedOff(t *testing.T) {
+	second := SecondResponse{Endpoint: testEndpoint, Lateness: 300 * ms}
+	d := New(Settings{})
+	d.ObserveSecondResponse(0, second)
+	d.ObserveDelay(0, monotime.Second)
+	checkRest(t, d, 0, 0, 0, 0)
+	d = New(Settings{DistrustedRest: 100 * ms})
+	d.ObserveSecondResponse(0, second)
+	checkRest(t, d, 0, 1200*ms, 0, 0)
+}
+
+// Old evidence takes up no memory.
+func TestExpireForgetsAddresses(t *testing.T) {
+	const endpoints = 3200
+	d := newPunctual(testSettings)
+	for i := range endpoints {
+		e := Endpoint{Pool: testEndpoint.Pool, Address: fmt.Sprint(i)}
+		d.ObserveSecondResponse(int64(i), SecondResponse{Endpoint: e, Lateness: ms})
+	}
+	d.Expire(evidencePeriod - 1)
+	if len(d.addresses) != endpoints {
+		t.Errorf("%d addresses known, want %d", len(d.addresses), endpoints)
+	}
+	if d.Expire(evidencePeriod + endpoints); len(d.addresses) != 0 {
+		t.Errorf("%d addresses known after their time, want none", len(d.addresses))
+	}
+}
+
+// A successor has the rests of its predecessor, for the time that was left, and keeps evidence of its own.
+func TestSnapshotKeepsRests(t *testing.T) {
+	const age = 10 * ms
+	old := newPunctual(testSettings)
+	old.ObserveSecondResponse(0, SecondResponse{Endpoint: testEndpoint, Lateness: 150 * ms})
+	taken := 10 * monotime.Second
+	s := old.Snapshot(taken)
+	next := newPunctual(testSettings)
+	next.ObserveSecondResponse(0, SecondResponse{Endpoint: otherPool, Lateness: 80 * ms})
+	const now = 1000 * monotime.Second // its clock has another origin
+	next.Restore(now, s, age)
+	next.Restore(now, nil, age)
+	left := evidencePeriod - taken - age
+	checkRest(t, next, now, 600*ms, 300*ms, 20*ms)
+	checkRest(t, next, now+left-1, 600*ms, 300*ms, 20*ms)
+	checkRest(t, next, now+left, 20*ms, 20*ms, 20*ms)
+	late := newPunctual(testSettings)
+	late.Restore(now, s, evidencePeriod)
+	checkRest(t, late, now, 20*ms, 20*ms, 20*ms)
+	if len(late.addresses) != 0 {
+		t.Error("an address whose evidence is forgotten was restored")
+	}
+}
