--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,8 +15,8 @@
 
 // Upstream makes targets for addresses. Its methods must not block.
 type Upstream interface {
-	// Target returns the target for an address. It is called on the core's goroutine.
-	Target(addr string) Target
+	// Target returns the target for the address of an endpoint of a pool. It is called on the core's goroutine.
+	Target(pool, addr string) Target
 }
 
 // Target is the address of one endpoint: the handle of the package that sends requests to endpoints.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -19,8 +19,10 @@
 	cancel    context.CancelFunc
 }
 
-// NewTarget returns the target for an address.
-func (h *host) NewTarget(addr string) engine.Target { return h.config.Upstream.Target(addr) }
+// NewTarget returns the target for the address of an endpoint of a pool.
+func (h *host) NewTarget(pool, addr string) engine.Target {
+	return h.config.Upstream.Target(pool, addr)
+}
 
 // StartAttempt makes an attempt on a goroutine of its own, which ends with the attempt's function; AbortAttempt makes
 // that return.
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -88,6 +88,7 @@
 	line("registry_entries", uint64(f.ListedEndpoints))
 	line("out_of_rotation", uint64(f.AvoidedEndpoints))
 	line("surplus_responses", d.upstreams.SurplusResponses())
+	line("suspect_responses", d.upstreams.SuspectResponses())
 	for _, closed := range d.front.ClosedConnections() {
 		line("client_connections_closed."+closed.Reason, closed.Count)
 	}
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -14,7 +14,10 @@
 
 // Offer returns the message with the listening sockets and the snapshot of the learned state.
 func (l *lifecycle) Offer(*takeover.Conn) takeover.Message {
-	offered := offer{Takeover: l.successorListener != nil, State: l.EncodeSnapshot(l.core.Snapshot())}
+	offered := offer{
+		Takeover: l.successorListener != nil,
+		State:    l.EncodeSnapshot(l.core.Snapshot(), l.upstreams.Evidence()),
+	}
 	var sockets []syscall.Conn
 	for _, listener := range l.listeners {
 		offered.Listeners = append(offered.Listeners, listener.config.Address)
@@ -52,7 +55,7 @@
 		snapshot.Maintenance = &remaining
 	}
 	l.stopGossip(false)
-	return l.EncodeSnapshot(snapshot)
+	return l.EncodeSnapshot(snapshot, l.upstreams.Evidence())
 }
 
 // Activating leaves the paths of unix sockets to the successor.
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -98,6 +98,7 @@
 		return
 	}
 	age := max(0, takeover.Monotonic()-state.TakenAt)
+	l.upstreams.RestoreEvidence(state.Reuse, age)
 	skipped := l.core.Restore(state.Snapshot, age)
 	if plan := state.Snapshot.Maintenance; plan != nil {
 		from := l.clock.Now() - age
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -134,7 +134,7 @@
 			Number: p.lastNumber,
 			Name:   info.Name,
 			Addr:   info.Addr,
-			Target: p.engine.config.Host.NewTarget(info.Addr),
+			Target: p.engine.config.Host.NewTarget(p.name, info.Addr),
 		}
 		p.byName[info.Name] = e
 		p.byNumber[e.Number] = e
@@ -142,7 +142,7 @@
 	if info.Addr != "" && info.Addr != e.Addr {
 		e.Target.Drop()
 		e.Addr = info.Addr
-		e.Target = p.engine.config.Host.NewTarget(info.Addr)
+		e.Target = p.engine.config.Host.NewTarget(p.name, info.Addr)
 	}
 	if old := p.endpointList[info.Name]; reset && e.state == balancer.Draining && old.StartedAt == info.StartedAt {
 		info.State = max(info.State, balancer.Draining)
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -8,8 +8,8 @@
 // Host carries out what an engine requests. The engine calls its methods in the order in which they are to take effect.
 // They must not block, and must not call the engine.
 type Host interface {
-	// NewTarget returns the target of attempts for an endpoint's address.
-	NewTarget(addr string) Target
+	// NewTarget returns the target of attempts for the address of an endpoint of a pool.
+	NewTarget(pool, addr string) Target
 	// StartAttempt starts an attempt. The host reports its end to Engine.AttemptEnded. a.HostData is the host's to use.
 	StartAttempt(a *Attempt)
 	// CancelUnsent cancels an attempt of which nothing has been written yet, and reports whether that was so: the
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -12,11 +12,12 @@
 func (s *sidecar) metrics(ctx context.Context) ([]byte, error) {
 	var classes []http1.OutcomeCounts
 	var open int
-	var relayed, surplus uint64
+	var relayed, surplus, suspect uint64
 	list, err := s.core.Statistics(ctx, func() {
 		classes, open = s.front.RequestStats()
 		relayed = s.pool.Forwarded()
 		surplus = s.pool.SurplusResponses()
+		suspect = s.pool.SuspectResponses()
 	})
 	if err != nil {
 		return nil, fmt.Errorf("the figures are not to be had in time: %w", err)
@@ -37,6 +38,7 @@
 	line("registry_entries", uint64(list.ListedEndpoints))
 	line("out_of_rotation", uint64(list.AvoidedEndpoints))
 	line("surplus_responses", surplus)
+	line("suspect_responses", suspect)
 	if list.OverloadControlled {
 		line("overload_level_percent", uint64(100*list.OverloadLevel+0.5))
 		line("overload_shed", list.ShedRequests)
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -18,7 +18,7 @@
 
 // Offer returns the message with the snapshot of the learned state, and sends later cordons to the successor, too.
 func (l *lifecycle) Offer(successor *takeover.Conn) takeover.Message {
-	snapshot := l.EncodeSnapshot(l.sidecar.core.Snapshot())
+	snapshot := l.EncodeSnapshot(l.sidecar.core.Snapshot(), l.sidecar.pool.Evidence())
 	l.cordonPeers.add(successor)
 	return takeover.Message{Kind: decide.Offer, Payload: snapshot}
 }
@@ -26,7 +26,7 @@
 // StopAccepting pauses the accept loop and returns the encoded snapshot for the handover.
 func (l *lifecycle) StopAccepting() []byte {
 	l.pause()
-	return l.EncodeSnapshot(l.sidecar.core.SnapshotForHandover())
+	return l.EncodeSnapshot(l.sidecar.core.SnapshotForHandover(), l.sidecar.pool.Evidence())
 }
 
 // Activating does nothing: the listening socket is the platform's.
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -46,7 +46,9 @@
 		log.Warn("snapshot rejected", "when", when, "error", err)
 		return
 	}
-	skipped := l.sidecar.core.Restore(state.Snapshot, max(0, takeover.Monotonic()-state.TakenAt))
+	age := max(0, takeover.Monotonic()-state.TakenAt)
+	l.sidecar.pool.RestoreEvidence(state.Reuse, age)
+	skipped := l.sidecar.core.Restore(state.Snapshot, age)
 	log.Info("snapshot restored", "when", when, "skipped", skipped)
 }
 
--- a/internal/simulation/host.go
+++ b/internal/simulation/host.go
@@ -15,7 +15,7 @@
 func (upstreamTarget) Drop() {}
 
 // NewTarget finds an endpoint by its address, which is its index.
-func (in *instance) NewTarget(addr string) engine.Target {
+func (in *instance) NewTarget(_, addr string) engine.Target {
 	index, err := strconv.Atoi(addr)
 	if err != nil {
 		panic(err) // endpointInfo wrote it
--- a/internal/takeover/lifecycle.go
+++ b/internal/takeover/lifecycle.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 
+	"dunlinsail/internal/decide/reuse"
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/engine"
 )
@@ -114,10 +115,10 @@
 	})
 }
 
-// EncodeSnapshot returns the encoded form of a snapshot. It is nil if the encoding fails; the successor then starts
-// without what was learned.
-func (l *Lifecycle) EncodeSnapshot(s *engine.Snapshot) []byte {
-	state := State{TakenAt: now(), Snapshot: s}
+// EncodeSnapshot returns the encoded form of a snapshot, with the evidence on the reuse of connections to endpoints. It
+// is nil if the encoding fails; the successor then starts without what was learned.
+func (l *Lifecycle) EncodeSnapshot(s *engine.Snapshot, evidence *reuse.Snapshot) []byte {
+	state := State{TakenAt: now(), Snapshot: s, Reuse: evidence}
 	encoded, err := state.Encode()
 	if err != nil {
 		l.log.Error("snapshot not encoded", "error", err)
--- a/internal/takeover/snapshot.go
+++ b/internal/takeover/snapshot.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/crc32"
 
+	"dunlinsail/internal/decide/reuse"
 	"dunlinsail/internal/engine"
 )
 
@@ -16,6 +17,8 @@
 	// TakenAt is the time of the snapshot by Monotonic, which is the same for both processes.
 	TakenAt  int64            `json:"Taken"`
 	Snapshot *engine.Snapshot `json:"Core"`
+	// Reuse is the evidence on which connections to endpoints are reused; nil is none.
+	Reuse *reuse.Snapshot `json:"Reuse,omitempty"`
 }
 
 // FormatVersion is the version of a State's encoding. A successor rejects a state of another version, and starts
--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -112,27 +112,27 @@
 	p := to.pool
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	// A probe may use a connection on which a second response may still arrive: its own is recognized by its report.
-	c, _, err := p.getConn(ctx, to, true)
+	c, err := p.getForProbe(ctx, to)
 	if err != nil {
 		return p.result(p.noConnStatus(ctx, err))
 	}
-	lastResponse := c.lastResponse
-	m := BufferedRequest{Method: http.MethodGet, URI: healthPath, Host: to.addr}
+	m := BufferedRequest{Method: http.MethodGet, URI: healthPath, Host: to.endpoint.Address}
 	if len(p.options.LoadFields) > 0 {
 		m.URI = loadReportPath
 	}
 	keep := false
 	result := p.roundTrip(ctx, c, m.encode(0), nil, func(reusable bool) { keep = reusable })
-	if result.Status == balancer.OK && len(p.options.LoadFields) > 0 {
+	expectsReport := len(p.options.LoadFields) > 0
+	if result.Status == balancer.OK && expectsReport {
 		result.Load = parseLoad(p.options.LoadFields, string(result.Response.(*BufferedResponse).Body))
-		keep = keep && result.Load != nil // otherwise it may be the response to another request, and its own may follow
-	} else {
-		lastResponse = time.Now() // a response without a report may be that to another request
 	}
-	if keep {
-		p.putAfterResponse(c, lastResponse)
-	} else {
+	mayBeAnother := result.Status == balancer.OK && expectsReport && result.Load == nil
+	switch {
+	case keep && !mayBeAnother:
+		p.putAfterProbe(c, result.Load != nil)
+	case mayBeAnother:
+		p.discardAfterOther(c)
+	default:
 		p.Discard(c)
 	}
 	return result
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -59,7 +59,7 @@
 		return true
 	}
 	if start, _ := c.reader.Peek(min(c.reader.Buffered(), len(requestTimeoutPrefix))); isSurplusResponse(start) {
-		p.noteSurplus(c.target.addr)
+		p.noteSurplusBehind(c)
 	}
 	return false
 }
@@ -131,7 +131,7 @@
 	e.conn.SetDeadline(time.Time{})
 	n, err := e.conn.write(text)
 	switch {
-	case err != nil && n < len(text) && stream == nil:
+	case errors.Is(err, errUnusable), err != nil && n < len(text) && stream == nil:
 		return balancer.ConnectFailed // its last byte was not written, so it never ran
 	case err != nil:
 		return balancer.Reset // an endpoint may start to work with half a body
--- a/internal/upstream/inspect.go
+++ b/internal/upstream/inspect.go
@@ -5,29 +5,25 @@
 	"errors"
 	"syscall"
 	"time"
-)
 
-// This file detects responses of an endpoint that belong to no request, and makes the pool distrust the address that
-// sent them. HTTP/1.1 does not name the request that a response belongs to: a second response to one request passes for
-// the response to the next request on the same connection, if it arrives after that has been written. Other bytes that
-// belong to no request cannot pass for a response.
+	"golang.org/x/sys/unix"
 
-const (
-	// distrustPeriod is how long an address is distrusted after it last sent a response that belongs to no request.
-	distrustPeriod = 5 * time.Minute
-	// DefaultDistrustedReuseDelay is the usual Options.DistrustedReuseDelay.
-	DefaultDistrustedReuseDelay = 100 * time.Millisecond
-	// maxInspectionAge is how long before a write a connection may have been inspected last. A longer time means that
-	// this process was paused.
-	maxInspectionAge = time.Millisecond
+	"dunlinsail/internal/clock"
 )
 
+// This file looks at connections on which no request is in flight. HTTP/1.1 does not name the request that a response
+// belongs to: a second response to one request passes for the response to the next request on the same connection, if
+// it arrives after that has been written. Other bytes that belong to no request cannot pass for a response.
+
+// observationInterval is how often connections at rest are inspected at most.
+const observationInterval = 10 * time.Millisecond
+
 // responsePrefix starts every HTTP/1 response.
 var responsePrefix = []byte("HTTP/1.")
 
 // requestTimeoutPrefix starts the response with which some servers announce that they close an idle connection. It is
 // no second response to a request.
-var requestTimeoutPrefix = []byte("HTTP/1.1 408")
+var requestTimeoutPrefix = []byte("HTTP/1.x 408")
 
 // connState is what can be seen of an idle connection without reading from it.
 type connState uint8
@@ -36,125 +32,179 @@
 	connQuiet    connState = iota // open, and nothing has arrived
 	connUnusable                  // closed by the endpoint, broken, about to be closed, or bytes have arrived
 	connSurplus                   // a response has arrived that belongs to no request
+	connUnknown                   // the connection has no descriptor to inspect
 )
 
-// isSurplusResponse reports whether bytes that belong to no request start a response.
+// isSurplusResponse reports whether bytes that belong to no request start a response, as far as they have arrived.
 func isSurplusResponse(start []byte) bool {
-	return bytes.HasPrefix(start, responsePrefix) && !bytes.HasPrefix(start, requestTimeoutPrefix)
+	if len(start) < len(responsePrefix) {
+		return len(start) > 0 && bytes.HasPrefix(responsePrefix, start)
+	}
+	return bytes.HasPrefix(start, responsePrefix) && !isRequestTimeout(start)
+}
+
+// isRequestTimeout reports whether bytes start with requestTimeoutPrefix, in any minor version.
+func isRequestTimeout(start []byte) bool {
+	minorVersion := len(responsePrefix)
+	return len(start) >= len(requestTimeoutPrefix) &&
+		bytes.HasPrefix(start[minorVersion+1:], requestTimeoutPrefix[minorVersion+1:])
 }
 
 // inspect returns the state of a connection on which no request is in flight, without waiting.
 func (c *Conn) inspect() connState {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return connUnusable
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return connUnusable
-	}
 	state := connUnusable
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.control(func(fd int) {
 		start := make([]byte, len(requestTimeoutPrefix))
-		n, _, err := syscall.Recvfrom(int(fd), start, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(fd, start, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
 			state = connQuiet
 		case err == nil && isSurplusResponse(start[:n]):
 			state = connSurplus
 		}
-		return true
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, errors.ErrUnsupported):
+		return connUnknown
+	case err != nil:
 		return connUnusable
 	}
-	if state == connQuiet {
-		c.inspectedAt = time.Now()
-	}
 	return state
 }
 
+// control calls a function with the descriptor of the connection.
+func (c *Conn) control(do func(fd int)) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { do(int(fd)) })
+}
+
+// lastArrival returns when bytes arrived last, to some milliseconds; the present instant if that cannot be told.
+func (c *Conn) lastArrival() time.Time {
+	now := time.Now()
+	arrival := now
+	err := c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			arrival = now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+		}
+	})
+	if err != nil {
+		return now
+	}
+	return arrival
+}
+
 // errUnusable means that an endpoint has closed a connection, or sent something on it, since that was selected.
 var errUnusable = errors.New("the connection was closed or written to before the request was written")
 
-// write writes the first piece of a request, and returns how much of it. It inspects a used connection once more if
-// this process was paused since, because a second response may have arrived meanwhile.
+// write writes the first piece of a request, and returns how much of it. It inspects the connection right before that:
+// a response may have arrived since the connection was selected, or opened.
 func (c *Conn) write(text []byte) (int, error) {
-	isNew := c.inspectedAt.IsZero()
-	if isNew || time.Since(c.inspectedAt) <= maxInspectionAge {
-		return c.Write(text)
+	state := c.inspect()
+	if state == connSurplus {
+		c.target.pool.noteSurplus(c)
 	}
-	switch c.inspect() {
-	case connSurplus:
-		c.target.pool.noteSurplus(c.target.addr)
-		return 0, errUnusable
-	case connUnusable:
+	if state == connSurplus || state == connUnusable {
 		return 0, errUnusable
 	}
 	return c.Write(text)
 }
 
-// distrust is the state of one address that sent responses that belong to no request.
-type distrust struct {
-	until  time.Time
-	logged bool
+// inspectLocked returns the state of a connection on which no request is in flight, and notes a second response.
+func (p *Pool) inspectLocked(c *Conn) connState {
+	state := c.inspect()
+	if state == connSurplus {
+		p.noteSurplusLocked(c, c.lastArrival())
+	}
+	return state
 }
 
-// noteSurplusLocked notes that an address has sent a response that belongs to no request.
-func (p *Pool) noteSurplusLocked(addr string) {
-	p.surplusResponses++
-	d := p.distrusted[addr]
-	if d == nil {
-		d = &distrust{}
-		p.distrusted[addr] = d
-	}
-	d.until = time.Now().Add(distrustPeriod)
+// restingConn is a connection that observeResting inspects.
+type restingConn struct {
+	conn         *Conn
+	lastResponse time.Time // of the connection, when it began to rest
+	nextCheck    time.Time
 }
 
-// noteSurplus is noteSurplusLocked for callers without the lock.
-func (p *Pool) noteSurplus(addr string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.noteSurplusLocked(addr)
+// observeLocked has an idle connection inspected while it rests. A second response is detected on it then even if no
+// other request would use it, and the delays of this process are noticed meanwhile.
+func (p *Pool) observeLocked(c *Conn) {
+	if p.options.ReuseDelay <= 0 || !c.isIdle || p.restLeftLocked(c) <= 0 {
+		return
+	}
+	p.resting = append(p.resting, restingConn{
+		conn:         c,
+		lastResponse: c.lastResponse,
+		nextCheck:    time.Now().Add(observationInterval),
+	})
+	p.startObservingLocked()
 }
 
-// isDistrustedLocked reports whether an address is distrusted at present.
-func (p *Pool) isDistrustedLocked(addr string) bool {
-	d := p.distrusted[addr]
-	return d != nil && p.options.DistrustedReuseDelay > 0 && time.Now().Before(d.until)
+// startObservingLocked starts observeResting if it does not run.
+func (p *Pool) startObservingLocked() {
+	if !p.observing {
+		p.observing = true
+		p.nextObservation = time.Now().Add(observationInterval)
+		go p.observeResting()
+	}
 }
 
-// reuseDelayLocked returns the reuse delay of connections to an address.
-func (p *Pool) reuseDelayLocked(addr string) time.Duration {
-	if p.isDistrustedLocked(addr) {
-		return max(p.options.ReuseDelay, p.options.DistrustedReuseDelay)
+// observeResting inspects connections until none rests any more, and no attempt waits for one.
+func (p *Pool) observeResting() {
+	for more := true; more; {
+		time.Sleep(observationInterval)
+		p.mu.Lock()
+		p.noteDelayLocked()
+		p.inspectRestingLocked()
+		p.nextObservation = time.Now().Add(observationInterval)
+		more = len(p.resting) > 0 || p.awaiting > 0
+		p.observing = more
+		p.mu.Unlock()
 	}
-	return p.options.ReuseDelay
 }
 
-// SurplusResponses returns how many responses of endpoints belonged to no request, as far as that was detected.
-func (p *Pool) SurplusResponses() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.surplusResponses
+// noteDelayLocked notes how late observeResting is. The time until now does not count again.
+func (p *Pool) noteDelayLocked() {
+	delay := time.Since(p.nextObservation)
+	if p.observing && delay >= 0 {
+		p.rests.ObserveDelay(p.options.Clock.Now(), clock.Micros(delay))
+		p.nextObservation = p.nextObservation.Add(delay)
+	}
 }
 
-// expireDistrust forgets the addresses that are distrusted no more, and logs those that are for the first time.
-func (p *Pool) expireDistrust() {
-	p.mu.Lock()
-	var started []string
-	for addr, d := range p.distrusted {
-		switch {
-		case !p.isDistrustedLocked(addr):
-			delete(p.distrusted, addr)
-		case !d.logged:
-			d.logged = true
-			started = append(started, addr)
+// inspectRestingLocked inspects the connections at rest that are due, and drops those that rest no more.
+func (p *Pool) inspectRestingLocked() {
+	now := time.Now()
+	stillResting := p.resting[:0]
+	for _, r := range p.resting {
+		if p.isStillResting(&r, now) {
+			stillResting = append(stillResting, r)
 		}
 	}
-	p.mu.Unlock()
-	for _, addr := range started {
-		p.options.Log.Warn("surplus response, connections reused late", "endpoint", addr,
-			"delay", p.options.DistrustedReuseDelay)
+	clear(p.resting[len(stillResting):])
+	p.resting = stillResting
+}
+
+// isStillResting inspects a connection if it is due, and reports whether it goes on to rest. One on which something has
+// arrived is closed.
+func (p *Pool) isStillResting(r *restingConn, now time.Time) bool {
+	c := r.conn
+	if !c.isIdle || c.lastResponse != r.lastResponse {
+		return false
+	}
+	if now.Before(r.nextCheck) {
+		return true
+	}
+	if p.inspectLocked(c) != connQuiet {
+		p.closeLocked(p.removeConnLocked(c))
+		return false
 	}
+	r.nextCheck = now.Add(now.Sub(r.lastResponse))
+	return p.restLeftLocked(c) > 0
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,8 @@
 // Package upstream holds the connections to endpoints and makes attempts and health checks on them over HTTP/1.1
 // (RFC 9112). It does not choose endpoints, and must not import the packages that serve clients. pool.go keeps the
-// connections, and reuse.go selects the one that an attempt uses; exchange.go makes the attempts of clients' requests;
-// buffered.go makes health checks, and small exchanges that are read completely.
+// connections, and reuse.go selects the one that an attempt uses; inspect.go looks at connections at rest, and
+// surplus.go counts the responses found there; exchange.go makes the attempts of clients' requests; buffered.go makes
+// health checks, and small exchanges that are read completely.
 package upstream
 
 import (
@@ -20,6 +21,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/core"
+	"dunlinsail/internal/decide/reuse"
 	"dunlinsail/internal/monotime"
 )
 
@@ -66,8 +68,12 @@
 	lastShortageLog time.Time            // when a shortage of connections was last logged
 	discardIdle     bool                 // idle connections are closed
 
-	distrusted       map[string]*distrust // addresses that sent responses to no request
-	surplusResponses uint64               // how often that was detected
+	rests           *reuse.Decider // decides how long connections rest
+	resting         []restingConn  // in the order in which they began to rest
+	observing       bool           // observeResting runs
+	awaiting        int            // attempts that wait for a connection to have rested
+	nextObservation time.Time      // when observeResting is due, if it runs
+	surplus         surplusCounts
 
 	idleLimits map[string]float64 // idle connections allowed, by owner; empty is no bound
 	maxIdle    int                // the sum of idleLimits; 0 is no bound
@@ -89,7 +95,11 @@
 		options:     o,
 		maxIdleTime: o.maxIdleTime(),
 		idleTargets: map[*Target]struct{}{},
-		distrusted:  map[string]*distrust{},
+		rests: reuse.New(reuse.Settings{
+			Rest:           clock.Micros(o.ReuseDelay),
+			DistrustedRest: clock.Micros(o.DistrustedReuseDelay),
+		}),
+		surplus: newSurplusCounts(),
 	}
 }
 
@@ -105,16 +115,20 @@
 // Target is the address of one endpoint, with the connections to it. Targets with the same address do not share them:
 // a new endpoint may listen at the address of one that has gone, whose requests must not reach it.
 type Target struct {
-	pool *Pool
-	addr string
+	pool     *Pool
+	endpoint reuse.Endpoint
 
 	// Guarded by Pool.mu.
-	idle    []*Conn
-	dropped bool // no attempt is made any more
+	idle         []*Conn
+	dropped      bool // no attempt is made any more
+	sendsReports bool // a health check has got a load report
 }
 
-// Target returns a new target for an address.
-func (p *Pool) Target(addr string) core.Target { return &Target{pool: p, addr: addr} }
+// Target returns a new target for the address of an endpoint of a pool of endpoints (core.Pool), which is given by its
+// name.
+func (p *Pool) Target(pool, addr string) core.Target {
+	return &Target{pool: p, endpoint: reuse.Endpoint{Pool: pool, Address: addr}}
+}
 
 // Conn is a connection to an endpoint.
 type Conn struct {
@@ -123,10 +137,12 @@
 	reader    *bufio.Reader
 	target    *Target
 	idleSince time.Time // since when it is idle
+	isIdle    bool      // it is among the idle connections of its target
+	isProbed  bool      // its last exchange was a health check
 
-	inspectedAt  time.Time       // when it was last seen to be quiet (inspect); zero: never
-	lastResponse time.Time       // after which a second response may follow; zero: there was none
-	availableAt  monotime.Micros // when its reuse delay ended, if an attempt waited for that; else 0
+	lastResponse     time.Time       // after which a second response may follow; zero: there was none
+	previousResponse time.Time       // the one before lastResponse; zero: there was none
+	availableAt      monotime.Micros // when its rest ended, if an attempt waited for that; else 0
 }
 
 func newConn(nc net.Conn, to *Target) *Conn {
@@ -206,16 +222,21 @@
 	}
 }
 
-// Put returns a connection on which no request is in flight.
-func (p *Pool) Put(c *Conn) { p.putAfterResponse(c, time.Now()) }
-
-// putAfterResponse returns a connection with the time from which its reuse delay runs.
-func (p *Pool) putAfterResponse(c *Conn, answered time.Time) {
+// Put returns a connection on which a response to an attempt has ended.
+func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.lastResponse = answered
-	c.idleSince = time.Now()
+	c.isProbed = false
+	p.putLocked(c)
+}
+
+// putLocked returns a connection on which a response has ended.
+func (p *Pool) putLocked(c *Conn) {
+	c.previousResponse = c.lastResponse
+	c.lastResponse = time.Now()
+	c.idleSince = c.lastResponse
 	p.insertIdleLocked(c)
+	p.observeLocked(c)
 }
 
 // putUnused returns a connection that was not used. Its idle time continues, since the endpoint counts from its last
@@ -227,11 +248,13 @@
 		c.idleSince = time.Now() // it has just been opened
 	}
 	p.insertIdleLocked(c)
+	p.observeLocked(c)
 }
 
 // insertIdleLocked adds an idle connection to its target, in the order in which they were last used.
 func (p *Pool) insertIdleLocked(c *Conn) {
 	if c.target.dropped || p.discardIdle {
+		p.inspectLocked(c)
 		p.closeLocked(c)
 		return
 	}
@@ -240,6 +263,7 @@
 		at--
 	}
 	c.target.idle = slices.Insert(c.target.idle, at, c)
+	c.isIdle = true
 	p.idleTargets[c.target] = struct{}{}
 	p.idleConns++
 	p.trimIdleLocked()
@@ -257,9 +281,18 @@
 	p.openConns--
 }
 
+// closeIdleLocked closes an idle connection of a target. Whether a second response has arrived on it is evidence for
+// the others.
+func (p *Pool) closeIdleLocked(to *Target, i int) {
+	c := p.removeIdleLocked(to, i)
+	p.inspectLocked(c)
+	p.closeLocked(c)
+}
+
 // removeIdleLocked removes an idle connection from its target.
 func (p *Pool) removeIdleLocked(to *Target, i int) *Conn {
 	c := to.idle[i]
+	c.isIdle = false
 	p.idleConns--
 	if to.idle = slices.Delete(to.idle, i, i+1); len(to.idle) == 0 {
 		delete(p.idleTargets, to)
@@ -267,6 +300,11 @@
 	return c
 }
 
+// removeConnLocked removes a connection that is idle from its target.
+func (p *Pool) removeConnLocked(c *Conn) *Conn {
+	return p.removeIdleLocked(c.target, slices.Index(c.target.idle, c))
+}
+
 // evictOldestLocked closes the connection that has been idle for longest.
 func (p *Pool) evictOldestLocked() bool {
 	var oldest *Target
@@ -278,7 +316,7 @@
 	if oldest == nil {
 		return false
 	}
-	p.closeLocked(p.removeIdleLocked(oldest, 0))
+	p.closeIdleLocked(oldest, 0)
 	return true
 }
 
@@ -289,7 +327,7 @@
 	defer p.mu.Unlock()
 	to.dropped = true
 	for len(to.idle) > 0 {
-		p.closeLocked(p.removeIdleLocked(to, 0))
+		p.closeIdleLocked(to, 0)
 	}
 }
 
@@ -301,7 +339,7 @@
 	defer p.mu.Unlock()
 	for i := len(to.idle) - 1; i >= 0; i-- {
 		if to.idle[i].idleSince.Before(since) {
-			p.closeLocked(p.removeIdleLocked(to, i))
+			p.closeIdleLocked(to, i)
 		}
 	}
 }
@@ -338,7 +376,7 @@
 		select {
 		case <-tick.C:
 			p.sweep()
-			p.expireDistrust()
+			p.reportSurplus()
 		case <-ctx.Done():
 			p.SetKeepIdle(false)
 			return
--- /dev/null
+++ b/internal/upstream/rest_test.go
@@ -0,0 +1,163 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"dunlinsail/internal/clock"
+	"dunlinsail/internal/fake/scriptedpeer"
+)
+
+// The tests in this file are on what ends a connection's rest too early, or is wrongly taken for a second response.
+
+// wantOpen checks how many connections are open.
+func (s *secondResponseTest) wantOpen(want int) {
+	s.Helper()
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	if s.pool.openConns != want {
+		s.Errorf("%d connections open, want %d", s.pool.openConns, want)
+	}
+}
+
+// Guards against a pause of the machine that is taken for rest since it is longer than any rest.
+func TestSecondResponseAfterLongPause(t *testing.T) {
+	for _, mode := range []string{"sidecar", "daemon"} {
+		t.Run(mode, func(t *testing.T) { testSecondResponseAfterPause(t, mode, time.Second) })
+	}
+}
+
+// longPause is longer than the rest of newLongRestTest.
+const longPause = 2 * time.Hour
+
+func newLongRestTest(t *testing.T) *secondResponseTest {
+	t.Helper()
+	return newSecondResponseTest(t, withReuseDelay(time.Hour, false))
+}
+
+// pause models a pause of the machine at an instant at which a connection rests and observeResting sleeps.
+func (s *secondResponseTest) pause(c *Conn, d time.Duration) {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	c.lastResponse = c.lastResponse.Add(-d)
+	s.pool.nextObservation = s.pool.nextObservation.Add(-d)
+}
+
+// awaitObservation waits until observeResting has run once more, or has ended.
+func (s *secondResponseTest) awaitObservation() {
+	s.Helper()
+	next := func() (time.Time, bool) {
+		s.pool.mu.Lock()
+		defer s.pool.mu.Unlock()
+		return s.pool.nextObservation, s.pool.observing
+	}
+	before, _ := next()
+	scriptedpeer.Eventually(s, "observation", func() bool {
+		now, observing := next()
+		return now != before || !observing
+	})
+}
+
+// takeResting returns the connection used last, which rests, as to an attempt that waits for it.
+func (s *secondResponseTest) takeResting() *Conn {
+	s.Helper()
+	c, wait, err := s.pool.takeOrOpen(s.Context(), s.to, true)
+	if err != nil || wait <= 0 {
+		s.Fatalf("a connection to wait for %v, error %v", wait, err)
+	}
+	s.awaitObservation() // what began before has ended then
+	return c
+}
+
+// Guards against a pause that is not noticed, and taken for rest, while an attempt waits for the connection.
+func TestPauseWhileRestIsAwaited(t *testing.T) {
+	s := newLongRestTest(t)
+	s.complete("1")
+	c := s.takeResting()
+	s.pause(c, longPause)
+	if usable, err := s.pool.awaitRest(t.Context(), c, 0); usable || err != nil {
+		t.Errorf("the connection is usable after a pause: %v, error %v", usable, err)
+	}
+}
+
+// Guards against a pause that is not noticed, and taken for rest, once the attempt that waited has been cancelled.
+func TestPauseAfterAwaitedRestIsCancelled(t *testing.T) {
+	s := newLongRestTest(t)
+	s.complete("1")
+	c := s.takeResting()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := s.pool.awaitRest(cancelled, c, longPause); !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v, want %v", err, context.Canceled)
+	}
+	s.awaitObservation()
+	s.pause(c, longPause)
+	if again := s.takeResting(); again != c {
+		t.Error("the connection was not put back")
+	}
+}
+
+// Guards against a health check that takes the second response to the health check before it for its own.
+func TestSecondResponseToHealthCheckBefore(t *testing.T) {
+	s := newLongRestTest(t)
+	s.probe(responseFor(loadReport))
+	probed := make(chan []float32, 1)
+	go func() { probed <- s.to.Probe().Load }()
+	second := scriptedpeer.Receive(t, s.endpoint.received, "health check 2")
+	for used, response := range s.sent {
+		io.WriteString(used, response)
+	}
+	io.WriteString(second.conn, responseFor("TEXT busy_reqs=9"))
+	if load := scriptedpeer.Receive(t, probed, "report"); len(load) == 0 || load[0] != 9 {
+		t.Errorf("load report %v, want one of 9 busy requests", load)
+	}
+}
+
+// Guards against a response to a health check that is taken for a second response where there are no load reports.
+func TestHealthCheckWithoutReportIsNoSecondResponse(t *testing.T) {
+	s := newLongRestTest(t)
+	s.complete("1")
+	s.probe(responseFor("hello"))
+	if len(s.sent) != 1 {
+		t.Fatalf("%d connections used, want 1", len(s.sent))
+	}
+	s.wantSurplus(0)
+}
+
+// Guards against the announced close of an idle connection that is taken for a second response.
+func TestRequestTimeoutIsNoSecondResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(version, func(t *testing.T) {
+			s := newLongRestTest(t)
+			endpointConn := s.complete("1")
+			c := s.onlyIdle()
+			io.WriteString(endpointConn, version+" 408 Request Time-out\r\nConnection: close\r\n\r\n")
+			s.awaitBytes(c.Conn)
+			s.pool.sweep()
+			s.wantOpen(0)
+			s.wantSurplus(0)
+		})
+	}
+}
+
+// Guards against a second response that is no evidence since a health check reads it after the rest.
+func TestSecondResponseReadByHealthCheckAfterRest(t *testing.T) {
+	const lateness = 300 * time.Millisecond // longer than any rest without evidence
+	s := newSecondResponseTest(t, withReuseDelay(DefaultReuseDelay, false))
+	if r := s.probe(responseFor(loadReport)); r.Load == nil {
+		t.Fatalf("health check: status %v without a report", r.Status)
+	}
+	s.rest(2 * time.Hour)
+	s.complete("1")
+	s.rest(lateness)
+	s.probe(responseFor("1"))
+	s.wantSurplus(1)
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	if rest := clock.Duration(s.pool.rests.Rest(s.pool.options.Clock.Now(), s.to.endpoint)); rest < lateness {
+		t.Errorf("rest %v, want %v or more", rest, lateness)
+	}
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -3,142 +3,182 @@
 import (
 	"context"
 	"time"
+
+	"dunlinsail/internal/clock"
 )
 
-// This file selects the connection that an attempt uses: an idle one that may be used again, or a new one.
+// This file selects the connection that an attempt uses: an idle one that may be used again, or a new one. How long
+// connections rest before is decided by package decide/reuse.
 
-// DefaultReuseDelay is how long a connection is not used after a response. An endpoint may send a second response some
-// milliseconds after the first, which would pass for the response to the next request. If it arrives within the delay,
-// the connection is closed, and its address is distrusted. One that arrives later is only detected if the next request
-// has not been written yet.
+// DefaultReuseDelay is the usual Options.ReuseDelay. An endpoint may send a second response some milliseconds after the
+// first, which would pass for the response to the next request. If it arrives while the connection rests, that is
+// closed.
 const DefaultReuseDelay = 20 * time.Millisecond
 
-// maxResting is how many idle connections to a target may be within their reuse delay with Options.ReuseDelayOptional.
-// Beyond that, or with a bound on idle connections, one of them is used in place of a new connection.
-const maxResting = 32
+// maxWaits is how many times Options.ReuseDelay an attempt waits at most until a connection has rested.
+const maxWaits = 3
 
-// Get returns the idle connection used last of those past their reuse delay, since the others may then expire; else
-// the first to get past it, once it has, since a new one costs more; else, and for a distrusted address, a new one.
-// With Options.ReuseDelayOptional it waits for none: it returns a new one while fewer than maxResting rest, else the
-// one that has rested for longest.
+// Get returns the idle connection used last of those that have rested, since the others may then expire; else the first
+// to have rested, if that is within maxWaits, since a new one costs more; else a new one. With
+// Options.ReuseDelayOptional it waits only if no connection can be opened. None is used before it has rested.
 func (p *Pool) Get(ctx context.Context, to *Target) (*Conn, error) {
+	mayWait := !p.options.ReuseDelayOptional
 	for {
-		c, wait, err := p.getConn(ctx, to, false)
+		c, wait, err := p.takeOrOpen(ctx, to, mayWait)
 		if c == nil || wait <= 0 {
 			return c, err
 		}
-		if err := p.waitAwake(ctx, wait); err != nil {
-			p.putUnused(c)
-			return nil, err
-		}
-		c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
-		p.mu.Lock()
-		gone := to.dropped
-		usable := p.isUsableLocked(c)
-		if gone || !usable {
-			p.closeLocked(c)
-		}
-		p.mu.Unlock()
+		usable, err := p.awaitRest(ctx, c, wait)
 		switch {
-		case gone:
-			return nil, errEndpointGone
+		case err != nil:
+			return nil, err
 		case usable:
 			return c, nil
 		}
 	}
 }
 
-// waitSteps is how many times waitAwake wakes up within Options.ReuseDelay.
-const waitSteps = 4
+// getForProbe returns a connection for a health check. With load reports its response is recognized, and so it may use
+// a connection that rests, unless another load report may still arrive on it.
+func (p *Pool) getForProbe(ctx context.Context, to *Target) (*Conn, error) {
+	if len(p.options.LoadFields) == 0 {
+		return p.Get(ctx, to)
+	}
+	p.mu.Lock()
+	c, err := p.takeForProbeOrReserveLocked(to)
+	p.mu.Unlock()
+	if c != nil || err != nil {
+		return c, err
+	}
+	return p.openConn(ctx, to)
+}
 
-// waitAwake waits until this process has been running for a time, or returns the error of ctx once that ends. A pause
-// of the whole machine counts for one of waitSteps only: during it an endpoint on the same machine sends nothing
-// either.
-func (p *Pool) waitAwake(ctx context.Context, wait time.Duration) error {
-	step := max(time.Nanosecond, p.options.ReuseDelay/waitSteps)
-	for left := wait; left > 0; left -= step {
-		select {
-		case <-time.After(min(left, step)):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// takeForProbeOrReserveLocked returns an idle connection for a health check. It returns no connection and no error
+// where a new one is to be opened, which it has counted then.
+func (p *Pool) takeForProbeOrReserveLocked(to *Target) (*Conn, error) {
+	mayUse := func(c *Conn) bool { return !c.isProbed || p.restLeftLocked(c) <= 0 }
+	if c := p.takeUsableLocked(to, mayUse); c != nil {
+		return c, nil
 	}
-	return nil
+	return nil, p.reserveLocked(to)
+}
+
+// putAfterProbe returns a connection after a health check, with or without a load report.
+func (p *Pool) putAfterProbe(c *Conn, hasReport bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.isProbed = true
+	c.target.sendsReports = c.target.sendsReports || hasReport
+	p.putLocked(c)
+}
+
+// awaitRest waits for what is left of a connection's rest, and reports whether it may be used then. If not, the pool
+// has it back, or has closed it. An error is that of ctx, or means that the endpoint is gone.
+func (p *Pool) awaitRest(ctx context.Context, c *Conn, wait time.Duration) (usable bool, err error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		p.endAwaiting()
+		p.putUnused(c)
+		return false, ctx.Err()
+	}
+	c.availableAt = p.options.Clock.Now() // the wait is no latency of the endpoint
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteDelayLocked()
+	p.awaiting--
+	switch {
+	case c.target.dropped:
+		p.inspectLocked(c)
+		p.closeLocked(c)
+		return false, errEndpointGone
+	case !p.isUsableLocked(c):
+		p.closeLocked(c)
+		return false, nil
+	case p.restLeftLocked(c) > 0: // there is new evidence
+		p.insertIdleLocked(c)
+		p.observeLocked(c)
+		return false, nil
+	}
+	return true, nil
+}
+
+// endAwaiting notes that an attempt does not wait any more.
+func (p *Pool) endAwaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.awaiting--
 }
 
-// getConn returns a connection, and what is left of its reuse delay. With ignoreDelay that is not waited for.
-func (p *Pool) getConn(ctx context.Context, to *Target, ignoreDelay bool) (c *Conn, wait time.Duration, err error) {
+// takeOrOpen returns an idle connection that has rested, or a new one. With mayWait, and where none can be opened, it
+// may return one that rests, and how long it has to.
+func (p *Pool) takeOrOpen(ctx context.Context, to *Target, mayWait bool) (*Conn, time.Duration, error) {
 	p.mu.Lock()
-	c, wait, err = p.takeOrReserveLocked(to, ignoreDelay)
+	c, wait := p.takeRestedLocked(to, mayWait)
+	var err error
+	if c == nil {
+		err = p.reserveLocked(to)
+	}
 	p.mu.Unlock()
 	if c != nil || err != nil {
 		return c, wait, err
 	}
 	c, err = p.openConn(ctx, to)
-	if err != nil && isShortage(err) && p.options.ReuseDelayOptional {
-		if resting := p.takeResting(to); resting != nil {
-			return resting, 0, nil
-		}
+	if err != nil && isShortage(err) {
+		return p.takeAtShortage(ctx, to, err)
 	}
 	return c, 0, err
 }
 
-// takeResting removes and returns the idle connection that has rested for longest, nil if there is none.
-func (p *Pool) takeResting(to *Target) *Conn {
+// takeRestedLocked removes and returns an idle connection that has rested; with mayWait else one that rests, and how
+// long it has to. It returns nil if a connection is to be opened.
+func (p *Pool) takeRestedLocked(to *Target, mayWait bool) (*Conn, time.Duration) {
+	p.noteDelayLocked() // what delays this process may not have let observeResting run yet
+	hasRested := func(c *Conn) bool { return p.restLeftLocked(c) <= 0 }
+	if c := p.takeUsableLocked(to, hasRested); c != nil {
+		return c, 0
+	}
+	p.inspectLatestLocked(to)
+	if !mayWait {
+		return nil, 0
+	}
+	return p.takeEarliestLocked(to)
+}
+
+// takeAtShortage returns a connection although none can be opened for lack of descriptors or ports: one that rests and
+// soon has, or a new one in place of another idle one. shortage is the error of the attempt to open one.
+func (p *Pool) takeAtShortage(ctx context.Context, to *Target, shortage error) (*Conn, time.Duration, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(to.idle) > 0 {
-		c, _ := p.takeDelayedLocked(to)
-		if p.isUsableLocked(c) {
-			c.availableAt = 0
-			return c
-		}
-		p.closeLocked(c)
+	c, wait := p.takeRestedLocked(to, true)
+	canOpen := c == nil && p.evictOldestLocked() && p.reserveLocked(to) == nil
+	p.mu.Unlock()
+	switch {
+	case c != nil:
+		return c, wait, nil
+	case canOpen:
+		c, err := p.openConn(ctx, to)
+		return c, 0, err
 	}
-	return nil
+	return nil, 0, shortage
 }
 
-// takeOrReserveLocked returns an idle connection and what is left of its reuse delay. It returns no connection and no
-// error where a new one is to be opened, which it has counted then.
-func (p *Pool) takeOrReserveLocked(to *Target, ignoreDelay bool) (*Conn, time.Duration, error) {
+// reserveLocked counts a connection that is to be opened. If all are open, an idle one of any target is evicted.
+func (p *Pool) reserveLocked(to *Target) error {
 	if to.dropped {
-		return nil, 0, errEndpointGone
-	}
-	if c := p.takeUsableLocked(to, ignoreDelay); c != nil {
-		return c, 0, nil
-	}
-	for len(to.idle) > 0 {
-		c, wait := p.takeDelayedLocked(to)
-		tooLong := wait > p.options.ReuseDelay // of a distrusted address
-		opensOne := p.options.ReuseDelayOptional && len(to.idle) < maxResting-1 &&
-			p.openConns < p.options.MaxConns && p.maxIdle == 0
-		if tooLong || opensOne {
-			p.insertIdleLocked(c)
-			break
-		}
-		if !p.options.ReuseDelayOptional {
-			return c, wait, nil
-		}
-		if p.isUsableLocked(c) {
-			c.availableAt = 0
-			return c, 0, nil
-		}
-		p.closeLocked(c)
+		return errEndpointGone
 	}
-	if p.openConns >= p.options.MaxConns && !p.evictOldestLocked() { // an idle one of another target is evicted
-		return nil, 0, errConnLimit
+	if p.openConns >= p.options.MaxConns && !p.evictOldestLocked() {
+		return errConnLimit
 	}
 	p.openConns++
-	return nil, 0, nil
+	return nil
 }
 
-// takeUsableLocked removes and returns the idle connection used last of those past their reuse delay, nil if there is
-// none. It closes those that it finds expired.
-func (p *Pool) takeUsableLocked(to *Target, ignoreDelay bool) *Conn {
-	delay := p.reuseDelayLocked(to.addr)
-	now := time.Now()
+// takeUsableLocked removes and returns the idle connection used last of those for which a condition holds, nil if there
+// is none. It closes those of them that it finds unusable.
+func (p *Pool) takeUsableLocked(to *Target, mayUse func(*Conn) bool) *Conn {
 	for i := len(to.idle) - 1; i >= 0; i-- {
-		if !ignoreDelay && delay > 0 && now.Sub(to.idle[i].lastResponse) < delay {
+		if !mayUse(to.idle[i]) {
 			continue
 		}
 		c := p.removeIdleLocked(to, i)
@@ -151,9 +191,42 @@
 	return nil
 }
 
-// openConn opens a connection that takeOrReserveLocked has counted.
+// inspectLatestLocked inspects the idle connection used last, which is the likeliest to get a second response, and
+// closes it if anything has arrived.
+func (p *Pool) inspectLatestLocked(to *Target) {
+	if len(to.idle) == 0 {
+		return
+	}
+	latest := to.idle[len(to.idle)-1]
+	if p.inspectLocked(latest) != connQuiet {
+		p.closeLocked(p.removeConnLocked(latest))
+	}
+}
+
+// takeEarliestLocked removes and returns the idle connection that is the first to have rested, and how long it has to,
+// if that is worth waiting for. Otherwise it returns nil. An attempt that gets one waits for it (awaitRest).
+func (p *Pool) takeEarliestLocked(to *Target) (*Conn, time.Duration) {
+	if len(to.idle) == 0 {
+		return nil, 0
+	}
+	earliest := 0
+	for i, c := range to.idle {
+		if c.lastResponse.Before(to.idle[earliest].lastResponse) {
+			earliest = i
+		}
+	}
+	left := max(time.Nanosecond, p.restLeftLocked(to.idle[earliest]))
+	if left > maxWaits*p.options.ReuseDelay {
+		return nil, 0
+	}
+	p.awaiting++
+	p.startObservingLocked()
+	return p.removeIdleLocked(to, earliest), left
+}
+
+// openConn opens a connection that reserveLocked has counted.
 func (p *Pool) openConn(ctx context.Context, to *Target) (*Conn, error) {
-	nc, err := p.options.Dial(ctx, "tcp", to.addr)
+	nc, err := p.options.Dial(ctx, "tcp", to.endpoint.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -168,28 +241,19 @@
 	return c, nil
 }
 
-// takeDelayedLocked removes the idle connection with the least left of its reuse delay, and returns both.
-func (p *Pool) takeDelayedLocked(to *Target) (*Conn, time.Duration) {
-	earliest := 0
-	for i, c := range to.idle {
-		if c.lastResponse.Before(to.idle[earliest].lastResponse) {
-			earliest = i
-		}
+// restLeftLocked returns how long a connection still has to rest.
+func (p *Pool) restLeftLocked(c *Conn) time.Duration {
+	if c.lastResponse.IsZero() {
+		return 0
 	}
-	c := p.removeIdleLocked(to, earliest)
-	return c, max(time.Nanosecond, p.reuseDelayLocked(to.addr)-time.Since(c.lastResponse))
+	elapsed := clock.Micros(time.Since(c.lastResponse))
+	return clock.Duration(p.rests.Left(p.options.Clock.Now(), c.target.endpoint, elapsed))
 }
 
 // isUsableLocked reports whether an idle connection has neither expired nor been closed, or written to, by its
 // endpoint. A request written to another connection would be lost and might have run, or receive another request's
 // response.
 func (p *Pool) isUsableLocked(c *Conn) bool {
-	if time.Since(c.idleSince) >= p.maxIdleTime {
-		return false
-	}
-	state := c.inspect()
-	if state == connSurplus {
-		p.noteSurplusLocked(c.target.addr)
-	}
-	return state == connQuiet
+	quiet := p.inspectLocked(c) == connQuiet
+	return quiet && time.Since(c.idleSince) < p.maxIdleTime
 }
