--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -46,7 +46,7 @@
 	result.SentAt = max(e.sentAt.Load(), c.availableAt)
 	if stream != nil {
 		stream.finish(e)
-		keep = keep && stream.Body.Done()
+		keep = keep && e.sentAt.Load() != 0 // otherwise the next request would be taken for the rest of the body
 	}
 	c.SetReadDeadline(time.Time{}) // that of the last wait for a part of the response
 	p.release(c, attempt, stop() && keep && p.nothingFollows(c))
--- /dev/null
+++ b/internal/upstream/partial_body_test.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"dunlinsail/balancer"
+	"dunlinsail/internal/engine"
+	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/http1msg"
+)
+
+// stalledConn is a connection on which one write stalls: half of it gets through, and the rest not before its deadline.
+type stalledConn struct {
+	*net.TCPConn
+	writesBefore int
+	stalled      chan struct{} // closed once half has been written
+	expired      chan struct{} // closed by a write deadline in the past
+}
+
+func (c *stalledConn) Write(b []byte) (int, error) {
+	if c.writesBefore--; c.writesBefore >= 0 {
+		return c.TCPConn.Write(b)
+	}
+	n, err := c.TCPConn.Write(b[:len(b)/2])
+	close(c.stalled)
+	<-c.expired
+	return n, errors.Join(err, os.ErrDeadlineExceeded)
+}
+
+func (c *stalledConn) SetWriteDeadline(deadline time.Time) error {
+	if !deadline.IsZero() && deadline.Before(time.Now()) {
+		close(c.expired)
+	}
+	return c.TCPConn.SetWriteDeadline(deadline)
+}
+
+// useStalledConn has the pool open its connection as a stalledConn.
+func (s *secondResponseTest) useStalledConn(writesBefore int) *stalledConn {
+	stalled := &stalledConn{writesBefore: writesBefore, stalled: make(chan struct{}), expired: make(chan struct{})}
+	s.pool.options.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		stalled.TCPConn = c.(*net.TCPConn)
+		return stalled, nil
+	}
+	return stalled
+}
+
+// startHeadReader starts an endpoint that announces the first request once it has read the head.
+func (s *secondResponseTest) startHeadReader() <-chan *net.TCPConn {
+	received := make(chan *net.TCPConn, 1)
+	s.to = s.pool.newTarget(scriptedpeer.StartTCP(s, func(c *net.TCPConn, r *bufio.Reader) {
+		for line := ""; line != "\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		received <- c
+		io.Copy(io.Discard, r)
+	}))
+	return received
+}
+
+// startPost starts an attempt of a request with a streaming body of 8 bytes, whose length is announced as 8 or -1.
+func (s *secondResponseTest) startPost(length int64) <-chan engine.AttemptResult {
+	framing := http1msg.Framing{Kind: http1msg.FixedLength, Length: 8}
+	body := http1msg.NewBody(bufio.NewReader(strings.NewReader("12345678")), framing)
+	post := tracedRequest("POST", "1")
+	post.Stream = NewRequestStream(body, length, func() {}, func() {})
+	return s.start(s.pool.newAttempt(s.to), post)
+}
+
+// Guards against reuse after a response before the end of the request body: the next request would pass for the rest.
+func TestNoReuseAfterPartialRequestBody(t *testing.T) {
+	for name, body := range map[string]struct {
+		length       int64
+		writesBefore int
+	}{
+		"last piece": {8, 1}, // after the head
+		"last chunk": {-1, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSecondResponseTest(t, withReuseDelay(DefaultReuseDelay, false))
+			received := s.startHeadReader()
+			conn := s.useStalledConn(body.writesBefore)
+			result := s.startPost(body.length)
+			endpointConn := scriptedpeer.Receive(t, received, "head")
+			scriptedpeer.Receive(t, conn.stalled, "stall of a write")
+			io.WriteString(endpointConn, okResponse)
+			if r := scriptedpeer.Receive(t, result, "result"); r.Status != balancer.OK || bodyOf(r) != "ok" {
+				t.Errorf("status %v, body %q", r.Status, bodyOf(r))
+			}
+			s.wantOpen(0)
+		})
+	}
+}
