--- a/internal/bench/secondresponses/secondresponses.go
+++ b/internal/bench/secondresponses/secondresponses.go
@@ -41,6 +41,7 @@
 	Endpoints int
 	Requests  int     // at all endpoints together; the endpoints get the same number, one after the other
 	Rate      float64 // requests a second, at the endpoint whose turn it is
+	Gaps      Gaps    // between requests
 
 	// SentOnce is how many responses an endpoint sends once, before it sends some twice.
 	SentOnce int
@@ -50,6 +51,26 @@
 	Seed uint64 // of the gaps between requests and of the responses that are sent twice
 }
 
+// Gaps is how the times between one request and the next are distributed.
+type Gaps uint8
+
+// The distributions of gaps.
+const (
+	// ExponentialGaps are drawn, as of independent clients: a pool has several connections, which rest longer.
+	ExponentialGaps Gaps = iota
+	// ConstantGaps are all the same: where they exceed the response time, a pool needs one connection, which it reuses
+	// soon if it may.
+	ConstantGaps
+)
+
+// String returns the name of a distribution.
+func (g Gaps) String() string {
+	if g == ConstantGaps {
+		return "constant"
+	}
+	return "exponential"
+}
+
 // run is a run in progress.
 type run struct {
 	options   Options
@@ -106,7 +127,7 @@
 	}
 }
 
-// sendRequests sends the requests with exponential gaps, drawn from the seed, and waits for their ends.
+// sendRequests sends the requests, and waits for their ends.
 func (r *run) sendRequests(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, uint64(r.options.Lateness)))
 	var open sync.WaitGroup
@@ -114,7 +135,7 @@
 	start := time.Now()
 	due := time.Duration(0)
 	for id := range r.options.Requests {
-		due += time.Duration(rng.ExpFloat64() / r.options.Rate * float64(time.Second))
+		due += r.gap(rng)
 		select {
 		case <-time.After(due - time.Since(start)):
 		case <-ctx.Done():
@@ -124,6 +145,15 @@
 	}
 }
 
+// gap returns the time from one request to the next.
+func (r *run) gap(rng *rand.Rand) time.Duration {
+	mean := float64(time.Second) / r.options.Rate
+	if r.options.Gaps == ConstantGaps {
+		return time.Duration(mean)
+	}
+	return time.Duration(rng.ExpFloat64() * mean)
+}
+
 // endpointOf returns the position of the endpoint that a request is sent to.
 func (r *run) endpointOf(id int) int { return id * r.options.Endpoints / r.options.Requests }
 
--- a/internal/bench/secondresponses/secondresponses_test.go
+++ b/internal/bench/secondresponses/secondresponses_test.go
@@ -15,26 +15,38 @@
 
 // shortRunsAtOnce keeps the processors mostly idle, with the race detector as well: a busy machine stretches the
 // lateness of second responses.
-const shortRunsAtOnce = 16
+const shortRunsAtOnce = 24
 
 // Guards against a response that belongs to another request: second responses up to HarmlessLateness late are served to
 // no request, and of later ones the first of a pool at most, with any pool and any endpoint. The bounds are the target.
 func TestSecondResponsesReachNoOtherRequest(t *testing.T) {
 	t.Parallel()
 	var runs []Options
-	for _, lateness := range []time.Duration{3, 15, 60, 150} {
+	for _, c := range []struct {
+		lateness time.Duration
+		gaps     Gaps
+	}{
+		{3 * time.Millisecond, ExponentialGaps},
+		{3 * time.Millisecond, ConstantGaps},
+		{15 * time.Millisecond, ExponentialGaps},
+		{15 * time.Millisecond, ConstantGaps},
+		{60 * time.Millisecond, ExponentialGaps},
+		{150 * time.Millisecond, ExponentialGaps},
+	} {
 		for _, behavior := range Behaviors {
 			for _, pool := range Pools {
 				options := shortRun
 				options.Pool = pool
 				options.Behavior = behavior
-				options.Lateness = lateness * time.Millisecond
+				options.Lateness = c.lateness
+				options.Gaps = c.gaps
 				runs = append(runs, options)
 			}
 		}
 	}
 	for _, cell := range RunAll(context.Background(), runs, shortRunsAtOnce) {
-		t.Run(fmt.Sprintf("%v/%v/%v", cell.Options.Pool.Name, cell.Options.Behavior, cell.Options.Lateness),
+		o := cell.Options
+		t.Run(fmt.Sprintf("%v/%v/%v/%v", o.Pool.Name, o.Behavior, o.Gaps, o.Lateness),
 			func(t *testing.T) { checkCell(t, cell) })
 	}
 }
