--- a/cmd/dunlinsail-bench/main.go
+++ b/cmd/dunlinsail-bench/main.go
@@ -16,6 +16,7 @@
 
 	"dunlinsail/internal/bench"
 	"dunlinsail/internal/bench/quietfleet"
+	"dunlinsail/internal/bench/secondresponses"
 )
 
 const usageHead = `usage: dunlinsail-bench MEASUREMENT [flags]
@@ -104,6 +105,10 @@
 		"stream", "throughput of large bodies and memory of each stream: daemon beside ReverseProxy",
 		runStream,
 	},
+	{
+		"second-responses", "requests served with another's response, where endpoints send some responses twice",
+		runSecondResponses,
+	},
 	{"quiet-fleet", "", runQuietFleet},
 	{"proxy", "", runProxy},
 }
@@ -148,7 +153,7 @@
 	fmt.Fprint(os.Stderr, usageHead)
 	for _, m := range measurements {
 		if m.help != "" {
-			fmt.Fprintf(os.Stderr, "  %-9s  %s\n", m.name, m.help)
+			fmt.Fprintf(os.Stderr, "  %-16s  %s\n", m.name, m.help)
 		}
 	}
 	fmt.Fprint(os.Stderr, usageTail)
@@ -281,6 +286,34 @@
 	})
 }
 
+func runSecondResponses(ctx context.Context, c *call) error {
+	pools := c.flags.String("pools", "",
+		"sidecar, daemon, daemon-max-conns or daemon-limit-idle, or several, parted by commas; none means all")
+	lateness := c.flags.String("lateness", "1ms,2ms,5ms,8ms,15ms,25ms,60ms,100ms,150ms,200ms",
+		"times from a first to a second response, parted by commas")
+	requests := c.flags.Int("requests", 15000, "requests of each run")
+	rate := c.flags.Float64("rate", 250, requestsASecond+" of each run")
+	constant := c.flags.Bool("constant-gaps", false, "the time between requests is constant, not exponential")
+	seed := c.flags.Uint64("seed", 1, "seed of the arrivals and the responses that are sent twice")
+	atOnce := c.flags.Int("at-once", 20, "runs at the same time")
+	c.parse()
+	options := bench.SecondResponsesOptions{Requests: *requests, Rate: *rate, Seed: *seed, AtOnce: *atOnce}
+	if *constant {
+		options.Gaps = secondresponses.ConstantGaps
+	}
+	if *pools != "" {
+		options.Pools = strings.Split(*pools, ",")
+	}
+	for _, field := range strings.Split(*lateness, ",") {
+		d, err := time.ParseDuration(field)
+		if err != nil || d <= 0 {
+			return fmt.Errorf("-lateness: %q is no time above 0", field)
+		}
+		options.Lateness = append(options.Lateness, d)
+	}
+	return bench.SecondResponses(ctx, os.Stdout, options)
+}
+
 func runVersions(ctx context.Context, c *call) error {
 	return bench.Versions(ctx, os.Stdout, c.options(1000, 5*time.Second, 3, requestsASecond))
 }
