--- a/internal/bench/secondresponses/secondresponses.go
+++ b/internal/bench/secondresponses/secondresponses.go
@@ -95,7 +95,7 @@
 	}
 	r.pool = newMeasuredPool(options.Pool, r.clock)
 	for _, e := range r.endpoints {
-		r.targets = append(r.targets, r.pool.Target(e.addr))
+		r.targets = append(r.targets, r.pool.Target("", e.addr))
 	}
 	poolContext, stopPool := context.WithCancel(context.Background())
 	var poolEnded sync.WaitGroup
