--- a/internal/experiment/soak/fleet.go
+++ b/internal/experiment/soak/fleet.go
@@ -28,6 +28,8 @@
 	serviceTime   = 3 * time.Millisecond
 	dedupWindow   = 400 * time.Millisecond // as in the configurations
 	faultOneIn    = 20                     // requests
+
+	secondResponseDelay = 5 * time.Millisecond
 )
 
 // faults are what endpoints do to one of faultOneIn requests.
@@ -50,6 +52,9 @@
 			Spread:            0.5,
 			IdempotencyWindow: dedupWindow,
 			Ledger:            f.ledger,
+
+			SecondResponseDelay:      func() time.Duration { return secondResponseDelay },
+			CloseAfterSecondResponse: true,
 		})
 		if err != nil {
 			return nil, err
--- a/internal/fake/client/connection.go
+++ b/internal/fake/client/connection.go
@@ -55,8 +55,11 @@
 	}
 	result.Status = response.StatusCode
 	result.Verdict = classify(response.StatusCode, strings.HasPrefix(string(body), result.ID+" "), extraBytes)
-	if result.Verdict == Rejected {
+	switch result.Verdict {
+	case Rejected:
 		result.Reason = strings.TrimSpace(string(body))
+	case WrongResponse:
+		result.NamedID, _, _ = strings.Cut(string(body), " ")
 	}
 	return false, nil
 }
--- a/internal/fake/client/result.go
+++ b/internal/fake/client/result.go
@@ -35,6 +35,7 @@
 	Verdict   Verdict
 	Status    int    // the response's status code; 0 without a response
 	Reason    string // the body of a response that says Rejected
+	NamedID   string // the ID of the request that a WrongResponse names in its body: the one that it belongs to
 	StartedAt time.Time
 	Latency   time.Duration
 	Err       error  `json:"-"` // set for ConnectionLost and TimedOut
--- a/internal/fake/endpoint/endpoint.go
+++ b/internal/fake/endpoint/endpoint.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,8 +32,15 @@
 	WarmupTime       time.Duration
 
 	IdempotencyWindow time.Duration // how long an Idempotency-Key is remembered
-	Ledger            *Ledger       // records the requests that run; may be nil
+	Ledger            *Ledger       // records the requests that run, and second responses; may be nil
 	MinResponseSize   int           // bytes of a response's body, at least
+
+	// SecondResponseDelay returns how long after the first response a second one is sent (SecondResponse). It may be
+	// called concurrently. nil is at once.
+	SecondResponseDelay func() time.Duration
+	// CloseAfterSecondResponse has the endpoint close a connection on which it has sent a second response, after the
+	// same delay again. Without it the endpoint goes on with the next request.
+	CloseAfterSecondResponse bool
 }
 
 // Server is a running endpoint. Its methods are safe for concurrent use.
@@ -64,15 +72,20 @@
 	NoResponse            // none until the client leaves
 	ConnectionReset       // the connection is reset after the request ran
 	Conflict              // 409 from the application: the request ran, and its effect is impossible
-	SecondResponse        // the response, and secondResponseDelay later once more
+	SecondResponse        // the response, and once more after Options.SecondResponseDelay
 	PartialResponse       // a part of the response, and the end of the connection
 	LateResponse          // the response, after lateResponseDelay
 )
 
-const (
-	secondResponseDelay = 5 * time.Millisecond
-	lateResponseDelay   = 300 * time.Millisecond
-)
+const lateResponseDelay = 300 * time.Millisecond
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
 
 // Start starts an endpoint on a free loopback port.
 func Start(options Options) (*Server, error) {
@@ -94,7 +107,7 @@
 	if options.Cores > 0 {
 		s.cores = make(chan struct{}, options.Cores)
 	}
-	s.http = &http.Server{Handler: s}
+	s.http = &http.Server{Handler: s, ConnContext: withConn}
 	go func() {
 		defer close(s.done)
 		s.http.Serve(ln)
@@ -172,8 +185,11 @@
 	case fault == InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
-	case fault == SecondResponse, fault == PartialResponse:
-		s.respondUnframed(w, fault, s.responseBody(run.TraceID, len(body)))
+	case fault == SecondResponse:
+		s.respondTwice(w, r, run.TraceID, s.responseBody(run.TraceID, len(body)))
+		return
+	case fault == PartialResponse:
+		respondPartially(w, s.responseBody(run.TraceID, len(body)))
 		return
 	case fault == LateResponse:
 		time.Sleep(lateResponseDelay)
@@ -185,22 +201,46 @@
 	_, _ = io.WriteString(w, s.responseBody(run.TraceID, len(body))) // a client that has left needs no response
 }
 
-// respondUnframed writes a response twice, or a part of it, as package http would not.
-func (s *Server) respondUnframed(w http.ResponseWriter, fault Fault, body string) {
+// respondPartially writes a part of a response and closes the connection, as package http would not.
+func respondPartially(w http.ResponseWriter, body string) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return // the client has left
 	}
 	defer c.Close()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	if fault == PartialResponse {
-		_, _ = io.WriteString(c, response[:len(response)/2])
-		return
+	response := rawResponse(body)
+	_, _ = io.WriteString(c, response[:len(response)/2]) // an error shows that the client has left
+}
+
+// respondTwice writes a response, and after a delay once more. Until then no further request is read from the
+// connection.
+func (s *Server) respondTwice(w http.ResponseWriter, r *http.Request, traceID, body string) {
+	var delay time.Duration
+	if s.options.SecondResponseDelay != nil {
+		delay = s.options.SecondResponseDelay()
 	}
-	for range 2 {
-		_, _ = io.WriteString(c, response) // an error shows that the client has left
-		time.Sleep(secondResponseDelay)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body) // buffered until Flush
+	firstAt := time.Now()
+	http.NewResponseController(w).Flush()
+	time.Sleep(delay)
+	if s.options.Ledger != nil {
+		s.options.Ledger.AddSecondResponse(SecondResponseRecord{
+			Endpoint: s.options.Name,
+			TraceID:  traceID,
+			Lateness: time.Since(firstAt),
+		})
 	}
+	_, _ = io.WriteString(r.Context().Value(connKey{}).(net.Conn), rawResponse(body)) // the client may have left
+	if s.options.CloseAfterSecondResponse {
+		time.Sleep(delay)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// rawResponse returns a complete response with a body.
+func rawResponse(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
 // serveProbe responds to a health check with a load report.
--- a/internal/fake/endpoint/ledger.go
+++ b/internal/fake/endpoint/ledger.go
@@ -15,12 +15,22 @@
 	TookEffect     bool // false for a repeat that the endpoints recognized by its key
 }
 
-// Ledger records the requests that ran at the endpoints that share it, and recognizes repeats of a key among them. The
-// zero Ledger is ready to use; it is safe for concurrent use.
+// SecondResponseRecord is a second response that an endpoint sent to one request.
+type SecondResponseRecord struct {
+	Endpoint string
+	TraceID  string // X-Trace-Id of the request
+	// Lateness is the time between the two responses, each measured right before it was written: a busy machine may
+	// make it longer than the delay. After a write the process that reads may run first, which would falsify it.
+	Lateness time.Duration
+}
+
+// Ledger records the requests that ran at the endpoints that share it, recognizes repeats of a key among them, and
+// records second responses. The zero Ledger is ready to use; it is safe for concurrent use.
 type Ledger struct {
-	mu          sync.Mutex
-	runs        []Run
-	lastEffects map[string]time.Time // by idempotency key
+	mu              sync.Mutex
+	runs            []Run
+	lastEffects     map[string]time.Time // by idempotency key
+	secondResponses []SecondResponseRecord
 }
 
 // Runs returns the requests that ran so far, in the order in which they started.
@@ -30,6 +40,20 @@
 	return append([]Run(nil), l.runs...)
 }
 
+// SecondResponses returns the second responses that were sent so far, in their order.
+func (l *Ledger) SecondResponses() []SecondResponseRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]SecondResponseRecord(nil), l.secondResponses...)
+}
+
+// AddSecondResponse records a second response, right before it is written.
+func (l *Ledger) AddSecondResponse(record SecondResponseRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.secondResponses = append(l.secondResponses, record)
+}
+
 // add records a request; one that repeats a key within the window takes no effect.
 func (l *Ledger) add(run Run, window time.Duration) {
 	l.mu.Lock()
