--- a/cmd/dunlinsail-experiment/soak.go
+++ b/cmd/dunlinsail-experiment/soak.go
@@ -101,6 +101,9 @@
 		}
 	}
 	fmt.Fprintf(w, "%d excused\n", r.Excused)
+	for _, permitted := range r.Permitted {
+		fmt.Fprintf(w, "    permitted: %s\n", permitted)
+	}
 	if !failed {
 		return false
 	}
--- a/internal/experiment/soak/check.go
+++ b/internal/experiment/soak/check.go
@@ -34,6 +34,7 @@
 // check checks the rules once all processes have ended.
 func (r *run) check() {
 	sent := r.sentRequests()
+	r.judgeWrongResponses()
 	for _, result := range r.results {
 		r.checkResult(&result)
 		r.checkRejection(&result, sent)
@@ -73,7 +74,7 @@
 	end := result.StartedAt.Add(result.Latency)
 	switch result.Verdict {
 	case client.WrongResponse:
-		r.violate("%s %s got another response, status %d", result.Class, result.ID, result.Status)
+		r.checkWrongResponse(result)
 	case client.ConnectionLost, client.TimedOut:
 		if r.overlapsPause(result.StartedAt, end) {
 			r.report.Excused++
--- a/internal/experiment/soak/process.go
+++ b/internal/experiment/soak/process.go
@@ -84,6 +84,7 @@
 	terminatedAt time.Time // when SIGTERM was sent; zero: not yet
 	killed       bool      // by the platform
 	err          error
+	endedAt      time.Time
 	ended        chan struct{}
 }
 
@@ -126,6 +127,7 @@
 	p.all = append(p.all, q)
 	go func() {
 		q.err = q.cmd.Wait()
+		q.endedAt = time.Now()
 		close(q.ended)
 	}()
 	return q, nil
