--- a/cmd/dunlinsail-experiment/soak.go
+++ b/cmd/dunlinsail-experiment/soak.go
@@ -19,6 +19,8 @@
 	At       int      `help:"Runs at the same time." default:"4"`
 	Known    []uint64 `help:"Seeds whose failures KNOWN-RED.txt lists: they are printed, and do not count."`
 	Logs     bool     `help:"Print what the processes of failed runs logged."`
+
+	SecondResponses int `help:"One of so many requests gets a second response beside the drawn faults; 0 is none."`
 }
 
 // soakRun is a run that is to be made, and its outcome.
@@ -74,7 +76,11 @@
 	var runs []*soakRun
 	for _, program := range programs {
 		for i := range c.Seeds {
-			runs = append(runs, &soakRun{options: soak.Options{Program: program, Seed: c.Seed + uint64(i)}})
+			runs = append(runs, &soakRun{options: soak.Options{
+				Program:         program,
+				Seed:            c.Seed + uint64(i),
+				SecondResponses: c.SecondResponses,
+			}})
 		}
 	}
 	return runs, nil
@@ -100,7 +106,7 @@
 			fmt.Fprintf(w, "%d %v, ", n, client.Verdict(v))
 		}
 	}
-	fmt.Fprintf(w, "%d excused\n", r.Excused)
+	fmt.Fprintf(w, "%d excused; %d %s\n", r.Excused, r.Seconds, r.Variation)
 	for _, permitted := range r.Permitted {
 		fmt.Fprintf(w, "    permitted: %s\n", permitted)
 	}
--- a/internal/experiment/soak/config.go
+++ b/internal/experiment/soak/config.go
@@ -27,8 +27,18 @@
 		addr, discoveryAddr, known), nil
 }
 
-// daemonConfig returns the configuration of dunlinsaild.
-func daemonConfig(addr, discoveryAddr, dir string) string {
+// requestsInFlight is the daemon's limit of requests in flight, where its connections have no bound.
+const requestsInFlight = 64
+
+// daemonConfig returns the configuration of dunlinsaild. With a bound of connections fewer requests are in flight, so
+// that each of them has one.
+func daemonConfig(addr, discoveryAddr, dir string, bounds connectionBounds) string {
+	inFlight := requestsInFlight
+	if bounds.open > 0 {
+		inFlight = bounds.open - spareConnections
+	}
+	// One instance has the whole of the limit that is set for each endpoint.
+	idlePerEndpoint := float64(bounds.idle) / endpointCount
 	return fmt.Sprintf(`name = "soak"
 [process]
 descriptors = 512
@@ -39,8 +49,9 @@
 ready_within = "5s"
 drain_within = "3s"
 [connections]
+endpoints = %d
 [requests]
-in_flight = 64
+in_flight = %d
 [[listener]]
 name = "desk"
 address = %q
@@ -51,6 +62,7 @@
 zone = "a"
 zones = ["a", "b"]
 machines = ["m1"]
+node_idle = %.2f
 [[class]]
 name = "look"
 repeat = "safe"
@@ -76,5 +88,5 @@
 share = 1.0
 [attempts]
 dial_timeout = "1s"
-`, discoveryAddr, dir, addr)
+`, discoveryAddr, dir, bounds.open, inFlight, addr, idlePerEndpoint)
 }
--- a/internal/experiment/soak/fleet.go
+++ b/internal/experiment/soak/fleet.go
@@ -19,6 +19,8 @@
 	endpoints []*endpoint.Server
 	entries   []discovery.Instance
 
+	secondResponses secondResponses
+
 	mu  sync.Mutex
 	rng *rand.Rand // of the endpoints' faults
 }
@@ -28,8 +30,6 @@
 	serviceTime   = 3 * time.Millisecond
 	dedupWindow   = 400 * time.Millisecond // as in the configurations
 	faultOneIn    = 20                     // requests
-
-	secondResponseDelay = 5 * time.Millisecond
 )
 
 // faults are what endpoints do to one of faultOneIn requests.
@@ -42,9 +42,9 @@
 	endpoint.InternalError,
 }
 
-// startFleet starts endpoints whose faults are drawn from rng.
-func startFleet(rng *rand.Rand) (*fleet, error) {
-	f := &fleet{ledger: &endpoint.Ledger{}, rng: rng}
+// startFleet starts endpoints whose faults are drawn from rng, and whose second responses are as given.
+func startFleet(rng *rand.Rand, second secondResponses) (*fleet, error) {
+	f := &fleet{ledger: &endpoint.Ledger{}, rng: rng, secondResponses: second}
 	for i := range endpointCount {
 		s, err := endpoint.Start(endpoint.Options{
 			Name:              fmt.Sprint("s-", i),
@@ -53,8 +53,8 @@
 			IdempotencyWindow: dedupWindow,
 			Ledger:            f.ledger,
 
-			SecondResponseDelay:      func() time.Duration { return secondResponseDelay },
-			CloseAfterSecondResponse: true,
+			SecondResponseDelay:      f.drawSecondResponseDelay,
+			CloseAfterSecondResponse: second.closeConnection,
 		})
 		if err != nil {
 			return nil, err
@@ -79,10 +79,21 @@
 func (f *fleet) drawFault(*http.Request) endpoint.Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.rng.IntN(faultOneIn) > 0 {
-		return endpoint.NoFault
+	fault := endpoint.NoFault
+	if f.rng.IntN(faultOneIn) == 0 {
+		fault = faults[f.rng.IntN(len(faults))]
 	}
-	return faults[f.rng.IntN(len(faults))]
+	if fault == endpoint.NoFault && f.secondResponses.drawExtra() {
+		fault = endpoint.SecondResponse
+	}
+	return fault
+}
+
+// drawSecondResponseDelay draws the delay of one second response.
+func (f *fleet) drawSecondResponseDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.secondResponses.drawDelay()
 }
 
 // drain lists an endpoint as draining, and returns its name. Two endpoints always stay up.
--- a/internal/experiment/soak/process.go
+++ b/internal/experiment/soak/process.go
@@ -25,6 +25,9 @@
 	killAfter = 3700 * time.Millisecond
 )
 
+// daemonProgram is the file name of the daemon, which has another configuration than the sidecar.
+const daemonProgram = "dunlinsaild"
+
 // programs starts processes of one program that take over from one another.
 type programs struct {
 	program string
@@ -37,15 +40,15 @@
 	background sync.WaitGroup // the goroutines that continue or kill processes
 }
 
-// newPrograms writes the configuration of a program.
-func newPrograms(program, dir string, f *fleet) (*programs, error) {
+// newPrograms writes the configuration of a program. The bounds are for the daemon.
+func newPrograms(program, dir string, f *fleet, bounds connectionBounds) (*programs, error) {
 	p := &programs{program: program, dir: dir, config: filepath.Join(dir, "config")}
-	if filepath.Base(program) == "dunlinsaild" {
+	if filepath.Base(program) == daemonProgram {
 		var err error
 		if p.addr, err = freeport.Free(); err != nil {
 			return nil, err
 		}
-		return p, os.WriteFile(p.config, []byte(daemonConfig(p.addr, f.discovery.Addr, dir)), configMode)
+		return p, os.WriteFile(p.config, []byte(daemonConfig(p.addr, f.discovery.Addr, dir, bounds)), configMode)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -21,6 +21,8 @@
 type Options struct {
 	Program string // path of dunlinsail or dunlinsaild
 	Seed    uint64
+	// SecondResponses has one of so many requests get a second response beside those of the drawn faults; 0 is none.
+	SecondResponses int
 }
 
 // Report is the outcome of a run.
@@ -31,11 +33,17 @@
 	Excused    int      // requests that were lost or late while a process was stopped by SIGSTOP
 	Violations []string // broken rules
 	Permitted  []string // wrong responses that HTTP/1.1 leaves possible (run.judgeWrongResponses)
+	Variation  string   // in what the run differs from others beside its events
+	Seconds    int      // second responses that endpoints sent
 	Logs       string   // what the processes logged
 }
 
-// seedStream is the second half of the random generator's seed.
-const seedStream = 50
+// The second halves of the random generators' seeds.
+const (
+	seedStream          = 50 // of events
+	faultSeedStream     = 51 // of endpoints' faults
+	variationSeedStream = 52 // of what runs differ in beside
+)
 
 const (
 	requestRate    = 120.0                  // requests per second
@@ -85,11 +93,17 @@
 		startedAt: time.Now(),
 		drained:   map[string]time.Time{},
 	}
-	if r.fleet, err = startFleet(rand.New(rand.NewPCG(options.Seed, seedStream+1))); err != nil {
+	v := drawVariation(rand.New(rand.NewPCG(options.Seed, variationSeedStream)), options.SecondResponses)
+	r.report.Variation = v.secondResponses.String()
+	if filepath.Base(options.Program) == daemonProgram {
+		r.report.Variation += ", " + v.bounds.String()
+	}
+	r.fleet, err = startFleet(rand.New(rand.NewPCG(options.Seed, faultSeedStream)), v.secondResponses)
+	if err != nil {
 		return nil, err
 	}
 	defer r.fleet.close()
-	if r.programs, err = newPrograms(options.Program, dir, r.fleet); err != nil {
+	if r.programs, err = newPrograms(options.Program, dir, r.fleet, v.bounds); err != nil {
 		return nil, err
 	}
 	defer r.programs.close()
@@ -97,6 +111,7 @@
 		return nil, fmt.Errorf("seed %d: %w; logs:\n%s", options.Seed, err, r.programs.logs())
 	}
 	r.check()
+	r.report.Seconds = len(r.fleet.ledger.SecondResponses())
 	r.report.Logs = r.programs.logs()
 	return r.report, nil
 }
