--- a/internal/decide/reuse/evidence.go
+++ b/internal/decide/reuse/evidence.go
@@ -23,75 +23,71 @@
 	return s.mayFollowMisdelivery() && s.Interval <= maxAssumed && s.Lateness > 0
 }
 
-// evidence is how late the second responses of an address or a pool have been. A nil evidence is none.
+// provenLateness returns how late second responses are at least. On the first response of a connection nothing could be
+// misdelivered, and the lateness is certain. Otherwise either the second response was late itself, or the response
+// before it was late by the interval, and what follows is the response to the last request: it is at least the lesser
+// of both. A lateness over maxLateness does not count.
+func (s *SecondResponse) provenLateness() monotime.Micros {
+	lateness := s.Lateness
+	if s.mayFollowMisdelivery() {
+		lateness = min(s.Lateness, s.Interval)
+	}
+	if lateness > maxLateness {
+		return 0
+	}
+	return lateness
+}
+
+// evidence is the longest lateness of second responses. A nil evidence is none.
 type evidence struct {
 	forgetAt monotime.Micros // instant
-	proven   monotime.Micros // the longest lateness that is certain
+	longest  monotime.Micros
 }
 
 // isRecent reports whether there was a second response within evidencePeriod.
 func (e *evidence) isRecent(now monotime.Micros) bool { return e != nil && now < e.forgetAt }
 
-// add adds a second response. On the first response of a connection nothing could be misdelivered, and its lateness is
-// certain. Otherwise either it was late itself, or the response before it was late by the interval, and what follows is
-// the response to the last request: the lateness is at least the lesser of both.
-func (e *evidence) add(now monotime.Micros, s *SecondResponse) {
+// lateness returns the longest lateness within evidencePeriod, 0 without any.
+func (e *evidence) lateness(now monotime.Micros) monotime.Micros {
 	if !e.isRecent(now) {
-		*e = evidence{}
-	}
-	lateness := s.Lateness
-	if s.mayFollowMisdelivery() {
-		lateness = min(s.Lateness, s.Interval)
+		return 0
 	}
+	return e.longest
+}
+
+// add adds a lateness.
+func (e *evidence) add(now, lateness monotime.Micros) {
+	e.longest = max(e.lateness(now), lateness)
 	e.forgetAt = now + evidencePeriod
-	if lateness <= maxLateness {
-		e.proven = max(e.proven, lateness)
-	}
 }
 
 // poolEvidence is what was observed in a pool. A nil poolEvidence is nothing.
 type poolEvidence struct {
-	evidence
-
-	assumed      monotime.Micros // the longest lateness if responses were delivered to the wrong requests
-	assumedUntil monotime.Micros // instant until which that counts
-	certain      evidence        // of second responses to the first request on a connection
+	proven  evidence // how late second responses were at least
+	certain evidence // of these, how late those to the first request on a connection were
+	assumed evidence // how late they were if responses were delivered to the wrong requests
 }
 
-// isRecent reports whether there was a second response within evidencePeriod.
-func (p *poolEvidence) isRecent(now monotime.Micros) bool {
-	return p != nil && p.evidence.isRecent(now)
-}
-
-// lateness returns the longest lateness that is certain or has to be assumed.
+// lateness returns the longest lateness that is proven or has to be assumed.
 func (p *poolEvidence) lateness(now monotime.Micros) monotime.Micros {
-	if now >= p.assumedUntil {
-		return p.proven
+	if p == nil {
+		return 0
 	}
-	return max(p.proven, p.assumed)
+	return max(p.proven.lateness(now), p.assumed.lateness(now))
 }
 
 // add adds a second response. If the lateness of another one is certain, and as long, it explains this one without a
 // misdelivery: the endpoints of a pool usually run the same software.
 func (p *poolEvidence) add(now monotime.Micros, s *SecondResponse) {
-	p.evidence.add(now, s)
-	explained := p.certain.isRecent(now) && s.Lateness <= p.certain.proven
+	isExplained := p.certain.isRecent(now) && s.Lateness <= p.certain.longest
+	p.proven.add(now, s.provenLateness())
 	switch {
 	case s.Interval == 0:
-		p.certain.add(now, s)
-		p.assumedUntil = 0
-	case s.impliesMisdelivery() && !explained:
-		p.assume(now, max(s.Lateness, s.Interval))
-	}
-}
-
-// assume adds a lateness that is only assumed.
-func (p *poolEvidence) assume(now, lateness monotime.Micros) {
-	if now >= p.assumedUntil {
-		p.assumed = 0
+		p.certain.add(now, s.provenLateness())
+		p.assumed = evidence{}
+	case s.impliesMisdelivery() && !isExplained:
+		p.assumed.add(now, min(max(s.Lateness, s.Interval), maxAssumed))
 	}
-	p.assumed = max(p.assumed, min(lateness, maxAssumed))
-	p.assumedUntil = now + assumedPeriod
 }
 
 // pool returns the evidence of a pool, and adds an empty one if there is none.
@@ -117,7 +113,7 @@
 // ObserveSecondResponse takes a second response into account. It reports whether the response before it may have been
 // delivered to the wrong request.
 func (d *Decider) ObserveSecondResponse(now monotime.Micros, s SecondResponse) (mayBeMisdelivered bool) {
-	d.address(s.Endpoint.Address).add(now, &s)
+	d.address(s.Endpoint.Address).add(now, s.provenLateness())
 	d.pool(s.Endpoint.Pool).add(now, &s)
 	return s.mayFollowMisdelivery()
 }
--- a/internal/decide/reuse/reuse.go
+++ b/internal/decide/reuse/reuse.go
@@ -23,10 +23,6 @@
 	// evidencePeriod is how long the lateness of a second response counts.
 	evidencePeriod = 5 * 60 * monotime.Second
 
-	// assumedPeriod is how long a lateness counts that is only assumed. If it is real, and second responses are not
-	// rare, one is found on a connection at rest meanwhile, and its lateness is certain.
-	assumedPeriod = 5 * monotime.Second
-
 	// maxAssumed bounds the lateness that is only assumed.
 	maxAssumed = 250 * monotime.Millisecond
 
@@ -80,16 +76,13 @@
 // Rest returns how long after a response a connection to an endpoint may be used again.
 func (d *Decider) Rest(now monotime.Micros, e Endpoint) monotime.Micros {
 	rest := d.settings.Rest
-	pool := d.pools[e.Pool]
 	if address := d.addresses[e.Address]; address.isRecent(now) && d.settings.DistrustedRest > 0 {
-		rest = max(rest, d.settings.DistrustedRest, addressMargin*address.proven)
+		rest = max(rest, d.settings.DistrustedRest, addressMargin*address.longest)
 	}
 	if d.settings.Rest == 0 {
 		return rest
 	}
-	if pool.isRecent(now) {
-		rest = max(rest, poolMargin*pool.lateness(now))
-	}
+	rest = max(rest, poolMargin*d.pools[e.Pool].lateness(now))
 	return rest + min(delayMargin*d.delays.longest(now), maxDelayRest)
 }
 
--- a/internal/decide/reuse/snapshot.go
+++ b/internal/decide/reuse/snapshot.go
@@ -2,33 +2,37 @@
 
 import "dunlinsail/internal/monotime"
 
-// Snapshot is the evidence of a Decider for the process that takes over from it, without what is only assumed. Instants
-// are relative to that of the snapshot. Predecessor and successor may be different builds: the names in the tags are the stored form, and never
+// Snapshot is the evidence of a Decider for the process that takes over from it. Instants are relative to that of the
+// snapshot. Predecessor and successor may be different builds: the names in the tags are the stored form, and never
 // change.
 type Snapshot struct {
 	Pools     map[string]PoolSnapshot     `json:"Pools,omitempty"`     // by name
 	Addresses map[string]EvidenceSnapshot `json:"Addresses,omitempty"` // by address
 }
 
-// EvidenceSnapshot is how late the second responses of an address or a pool have been, in microseconds.
+// EvidenceSnapshot is the longest lateness of second responses, in microseconds.
 type EvidenceSnapshot struct {
 	ForgetAfter monotime.Micros `json:"ForgetAfter"`
-	Proven      monotime.Micros `json:"Proven"`
+	Longest     monotime.Micros `json:"Longest"`
 }
 
 // PoolSnapshot is the evidence of a pool.
 type PoolSnapshot struct {
-	EvidenceSnapshot
-	Certain EvidenceSnapshot `json:"Certain"` // of second responses to the first request on a connection
+	Proven  EvidenceSnapshot `json:"Proven"`  // how late second responses were at least
+	Certain EvidenceSnapshot `json:"Certain"` // those to the first request on a connection
+	Assumed EvidenceSnapshot `json:"Assumed"` // if responses were delivered to the wrong requests
 }
 
 // Snapshot returns the evidence at an instant.
 func (d *Decider) Snapshot(now monotime.Micros) *Snapshot {
 	s := &Snapshot{Pools: map[string]PoolSnapshot{}, Addresses: map[string]EvidenceSnapshot{}}
 	for name, p := range d.pools {
-		s.Pools[name] = PoolSnapshot{
-			EvidenceSnapshot: p.snapshot(now),
-			Certain:          p.certain.snapshot(now),
+		if p.proven.isRecent(now) {
+			s.Pools[name] = PoolSnapshot{
+				Proven:  p.proven.snapshot(now),
+				Certain: p.certain.snapshot(now),
+				Assumed: p.assumed.snapshot(now),
+			}
 		}
 	}
 	for address, e := range d.addresses {
@@ -44,14 +48,14 @@
 	if s == nil {
 		return
 	}
-	takenAt := now - age
 	for name, from := range s.Pools {
 		p := d.pool(name)
-		p.restore(now, takenAt, from.EvidenceSnapshot)
-		p.certain.restore(now, takenAt, from.Certain)
+		p.proven.restore(now, age, from.Proven, maxLateness)
+		p.certain.restore(now, age, from.Certain, maxLateness)
+		p.assumed.restore(now, age, from.Assumed, maxAssumed)
 	}
 	for address, from := range s.Addresses {
-		d.address(address).restore(now, takenAt, from)
+		d.address(address).restore(now, age, from, maxLateness)
 	}
 	d.Expire(now)
 }
@@ -61,15 +65,16 @@
 	if !e.isRecent(now) {
 		return EvidenceSnapshot{}
 	}
-	return EvidenceSnapshot{ForgetAfter: e.forgetAt - now, Proven: e.proven}
+	return EvidenceSnapshot{ForgetAfter: e.forgetAt - now, Longest: e.longest}
 }
 
-// restore adds evidence that was taken at an instant, unless it is to be forgotten by now.
-func (e *evidence) restore(now, takenAt monotime.Micros, from EvidenceSnapshot) {
-	forgetAt := takenAt + min(from.ForgetAfter, evidencePeriod)
+// restore adds evidence that is some time old, unless it is to be forgotten by now. A lateness over limit counts as
+// limit.
+func (e *evidence) restore(now, age monotime.Micros, from EvidenceSnapshot, limit monotime.Micros) {
+	forgetAt := now - age + min(from.ForgetAfter, evidencePeriod)
 	if forgetAt <= now {
 		return
 	}
+	e.longest = max(e.lateness(now), min(from.Longest, limit))
 	e.forgetAt = max(e.forgetAt, forgetAt)
-	e.proven = min(max(e.proven, from.Proven), maxLateness)
 }
