--- a/internal/decide/reuse/delay.go
+++ b/internal/decide/reuse/delay.go
@@ -13,7 +13,7 @@
 	minDelay = 2 * monotime.Millisecond
 
 	// unknownDelay is assumed of a process with less than minObservations.
-	unknownDelay    = 25 * monotime.Millisecond
+	unknownDelay    = 5 * monotime.Millisecond
 	minObservations = 20
 )
 
--- a/internal/upstream/inspect.go
+++ b/internal/upstream/inspect.go
@@ -5,8 +5,7 @@
 	"errors"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
+	"unsafe"
 
 	"dunlinsail/internal/clock"
 )
@@ -90,7 +89,11 @@
 	now := time.Now()
 	arrival := now
 	err := c.control(func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+		var info syscall.TCPInfo
+		size := uint32(syscall.SizeofTCPInfo)
+		_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, uintptr(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+		if errno == 0 {
 			arrival = now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
 		}
 	})
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -15,8 +15,9 @@
 // closed.
 const DefaultReuseDelay = 20 * time.Millisecond
 
-// maxWaits is how many times Options.ReuseDelay an attempt waits at most until a connection has rested.
-const maxWaits = 3
+// maxWaits is how many times Options.ReuseDelay an attempt waits at most until a connection has rested. A longer wait
+// would use up the time of an attempt.
+const maxWaits = 2
 
 // Get returns the idle connection used last of those that have rested, since the others may then expire; else the first
 // to have rested, if that is within maxWaits, since a new one costs more; else a new one. With
