--- a/internal/decide/reuse/reuse_test.go
+++ b/internal/decide/reuse/reuse_test.go
@@ -133,7 +133,7 @@
 }
 
 // Without a rest connections are reused at once, whatever was seen; with one for distrusted addresses only, at others.
-func TestRestsThatAreTurnedOff(t *testing.T) {
+func TestDisabledRests(t *testing.T) {
 	second := SecondResponse{Endpoint: testEndpoint, Lateness: 300 * ms}
 	d := New(Settings{})
 	d.ObserveSecondResponse(0, second)
--- a/internal/experiment/soak/check.go
+++ b/internal/experiment/soak/check.go
@@ -34,7 +34,7 @@
 // check checks the rules once all processes have ended.
 func (r *run) check() {
 	sent := r.sentRequests()
-	r.judgeWrongResponses()
+	r.classifyWrongResponses()
 	for _, result := range r.results {
 		r.checkResult(&result)
 		r.checkRejection(&result, sent)
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -32,7 +32,7 @@
 	Verdicts   [client.VerdictCount]int
 	Excused    int      // requests that were lost or late while a process was stopped by SIGSTOP
 	Violations []string // broken rules
-	Permitted  []string // wrong responses that HTTP/1.1 leaves possible (run.judgeWrongResponses)
+	Permitted  []string // wrong responses that HTTP/1.1 leaves possible (run.classifyWrongResponses)
 	Variation  string   // in what the run differs from others beside its events
 	Seconds    int      // second responses that endpoints sent
 	Logs       string   // what the processes logged
@@ -69,7 +69,7 @@
 
 	mu          sync.Mutex
 	results     []client.Result
-	wrong       map[string]wrongResponse // by the ID of the request that got it; set by judgeWrongResponses
+	wrong       map[string]wrongResponse // by the ID of the request that got it; set by classifyWrongResponses
 	pauses      []pause
 	drained     map[string]time.Time // endpoints by the instant at which they were listed as draining
 	closingTime time.Time            // from then on clients open no connection; zero: not yet
--- a/internal/experiment/soak/wrongresponse.go
+++ b/internal/experiment/soak/wrongresponse.go
@@ -14,7 +14,7 @@
 
 // toleratedLateness is how late a second response may be that must never reach another request. One that is later may
 // do so once in each process: HTTP/1.1 does not name the request that a response belongs to, and a process that knows
-// nothing of its endpoints yet cannot tell it from the response to the next request.
+// nothing of its endpoints yet cannot distinguish it from the response to the next request.
 const toleratedLateness = 15 * time.Millisecond
 
 // wrongResponse is what is known of a response that belonged to another request.
@@ -23,9 +23,9 @@
 	permitted bool
 }
 
-// judgeWrongResponses finds the second response behind each wrong response, and decides which are permitted: those
+// classifyWrongResponses finds the second response behind each wrong response, and decides which are permitted: those
 // whose second response was over toleratedLateness late, once for each process that has served.
-func (r *run) judgeWrongResponses() {
+func (r *run) classifyWrongResponses() {
 	var wrong []*client.Result
 	for i := range r.results {
 		if r.results[i].Verdict == client.WrongResponse {
@@ -59,25 +59,25 @@
 	return found
 }
 
-// processLife is the time of a process that has served, from its start to its end.
-type processLife struct{ from, to time.Time }
+// processLifetime is the time of a process that has served, from its start to its end.
+type processLifetime struct{ from, to time.Time }
 
 // servingProcesses returns the lives of the processes that have served, those that ended first first.
-func (r *run) servingProcesses() []processLife {
-	var lives []processLife
+func (r *run) servingProcesses() []processLifetime {
+	var lives []processLifetime
 	for _, p := range r.programs.all {
 		if !p.servedAt().IsZero() {
-			lives = append(lives, processLife{p.startedAt, p.endedAt})
+			lives = append(lives, processLifetime{p.startedAt, p.endedAt})
 		}
 	}
-	slices.SortFunc(lives, func(a, b processLife) int { return a.to.Compare(b.to) })
+	slices.SortFunc(lives, func(a, b processLifetime) int { return a.to.Compare(b.to) })
 	return lives
 }
 
 // withoutProcessAt removes the first process that was alive at an instant, and reports whether there was one. For
 // instants in their order, and processes in the order of their ends, it finds a process for as many as possible.
-func withoutProcessAt(lives []processLife, at time.Time) (rest []processLife, found bool) {
-	i := slices.IndexFunc(lives, func(life processLife) bool { return !at.Before(life.from) && !at.After(life.to) })
+func withoutProcessAt(lives []processLifetime, at time.Time) (rest []processLifetime, found bool) {
+	i := slices.IndexFunc(lives, func(life processLifetime) bool { return !at.Before(life.from) && !at.After(life.to) })
 	if i < 0 {
 		return lives, false
 	}
--- a/internal/experiment/soak/wrongresponse_test.go
+++ b/internal/experiment/soak/wrongresponse_test.go
@@ -44,7 +44,7 @@
 			for i, w := range c.wrong {
 				r.addWrongResponse(i, w.at, w.lateness)
 			}
-			r.judgeWrongResponses()
+			r.classifyWrongResponses()
 			for i := range r.results {
 				r.checkResult(&r.results[i])
 			}
@@ -61,7 +61,7 @@
 func TestWrongResponseText(t *testing.T) {
 	r := newCheckedRun([]life{{0, time.Second}})
 	r.addWrongResponse(0, time.Millisecond, 12340*time.Microsecond)
-	r.judgeWrongResponses()
+	r.classifyWrongResponses()
 	r.checkResult(&r.results[0])
 	const want = "look got-0 got another response, status 200, that of sent-0; the second response of s-1, 12.34ms late"
 	if v := r.report.Violations; len(v) != 1 || v[0] != want {
@@ -75,7 +75,7 @@
 	r.addWrongResponse(0, time.Millisecond, toleratedLateness+time.Millisecond)
 	r.addWrongResponse(1, 2*time.Millisecond, 0)
 	r.results[1].NamedID = r.results[0].ID
-	r.judgeWrongResponses()
+	r.classifyWrongResponses()
 	for i := range r.results {
 		r.checkResult(&r.results[i])
 	}
@@ -93,7 +93,7 @@
 		record := endpoint.SecondResponseRecord{TraceID: r.results[0].NamedID, Lateness: lateness}
 		r.fleet.ledger.AddSecondResponse(record)
 	}
-	r.judgeWrongResponses()
+	r.classifyWrongResponses()
 	if w := r.wrong[r.results[0].ID]; w.permitted || w.cause.Lateness != toleratedLateness {
 		t.Errorf("permitted %v, %v late", w.permitted, w.cause.Lateness)
 	}
--- a/internal/upstream/inspect.go
+++ b/internal/upstream/inspect.go
@@ -84,7 +84,7 @@
 	return raw.Control(func(fd uintptr) { do(int(fd)) })
 }
 
-// lastArrival returns when bytes arrived last, to some milliseconds; the present instant if that cannot be told.
+// lastArrival returns when bytes arrived last, to some milliseconds; the present instant if that is not known.
 func (c *Conn) lastArrival() time.Time {
 	now := time.Now()
 	arrival := now
--- a/internal/upstream/partial_body_test.go
+++ b/internal/upstream/partial_body_test.go
@@ -101,7 +101,7 @@
 			if r := scriptedpeer.Receive(t, result, "result"); r.Status != balancer.OK || bodyOf(r) != "ok" {
 				t.Errorf("status %v, body %q", r.Status, bodyOf(r))
 			}
-			s.wantOpen(0)
+			s.checkOpen(0)
 		})
 	}
 }
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -13,8 +13,8 @@
 
 // The tests in this file are on what ends a connection's rest too early, or is wrongly taken for a second response.
 
-// wantOpen checks how many connections are open.
-func (s *secondResponseTest) wantOpen(want int) {
+// checkOpen checks how many connections are open.
+func (s *secondResponseTest) checkOpen(want int) {
 	s.Helper()
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
@@ -124,7 +124,7 @@
 	if len(s.sent) != 1 {
 		t.Fatalf("%d connections used, want 1", len(s.sent))
 	}
-	s.wantSurplus(0)
+	s.checkSurplus(0)
 }
 
 // Guards against the announced close of an idle connection that is taken for a second response.
@@ -137,8 +137,8 @@
 			io.WriteString(endpointConn, version+" 408 Request Time-out\r\nConnection: close\r\n\r\n")
 			s.awaitBytes(c.Conn)
 			s.pool.sweep()
-			s.wantOpen(0)
-			s.wantSurplus(0)
+			s.checkOpen(0)
+			s.checkSurplus(0)
 		})
 	}
 }
@@ -154,7 +154,7 @@
 	s.complete("1")
 	s.rest(lateness)
 	s.probe(responseFor("1"))
-	s.wantSurplus(1)
+	s.checkSurplus(1)
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
 	if rest := clock.Duration(s.pool.rests.Rest(s.pool.options.Clock.Now(), s.to.endpoint)); rest < lateness {
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -205,7 +205,7 @@
 }
 
 // takeEarliestLocked removes and returns the idle connection that is the first to have rested, and how long it has to,
-// if that is worth waiting for. Otherwise it returns nil. An attempt that gets one waits for it (awaitRest).
+// if that is within maxWaits. Otherwise it returns nil. An attempt that gets one waits for it (awaitRest).
 func (p *Pool) takeEarliestLocked(to *Target) (*Conn, time.Duration) {
 	if len(to.idle) == 0 {
 		return nil, 0
--- a/internal/upstream/second_response_test.go
+++ b/internal/upstream/second_response_test.go
@@ -266,8 +266,8 @@
 	}
 }
 
-// wantSurplus checks how many surplus responses were counted.
-func (s *secondResponseTest) wantSurplus(want uint64) {
+// checkSurplus checks how many surplus responses were counted.
+func (s *secondResponseTest) checkSurplus(want uint64) {
 	s.Helper()
 	if n := s.pool.SurplusResponses(); n != want {
 		s.Errorf("%d surplus responses counted, want %d", n, want)
@@ -351,7 +351,7 @@
 	if s.isOther("2", r) || !neverRan(r.Status) {
 		t.Errorf("status %v, body %q, want a request that was not written", r.Status, bodyOf(r))
 	}
-	s.wantSurplus(1)
+	s.checkSurplus(1)
 }
 
 // Guards against a wrong response where the connection's next response has already been read behind it: a caller must
@@ -420,7 +420,7 @@
 			io.WriteString(endpointConn, responseFor("1"))
 			s.awaitBytes(c.Conn)
 			endpointConn = s.complete("2") // on another connection
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 			if elsewhere {
 				s.useNewEndpoint()
 				endpointConn = s.complete("3")
@@ -484,7 +484,7 @@
 				t.Errorf("request 1: status %v", r.Status)
 			}
 			s.complete("2")
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 		})
 		t.Run(name+" while idle", func(t *testing.T) {
 			s := newSecondResponseTest(t, withReuseDelay(DefaultReuseDelay, false))
@@ -499,7 +499,7 @@
 			io.WriteString(req.conn, kind.response)
 			s.awaitBytes(c.Conn)
 			s.complete("2")
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 		})
 	}
 }
@@ -564,7 +564,7 @@
 	if r := s.probe(responseFor("1")); r.Load != nil {
 		t.Fatalf("health check: status %v, load %v", r.Status, r.Load)
 	}
-	s.wantSurplus(1)
+	s.checkSurplus(1)
 	s.mustBeServedRightly("2")
 }
 
@@ -579,7 +579,7 @@
 			io.WriteString(endpointConn, responseFor("1")[:length])
 			s.awaitBytes(c.Conn)
 			s.mustBeServedRightly("2")
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 		})
 		t.Run(fmt.Sprint(length, " bytes in one write"), func(t *testing.T) {
 			s := newSecondResponseTest(t, withReuseDelay(DefaultReuseDelay, false))
@@ -590,7 +590,7 @@
 				t.Errorf("request 1: status %v, body %q", r.Status, bodyOf(r))
 			}
 			s.mustBeServedRightly("2")
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 		})
 	}
 }
@@ -604,7 +604,7 @@
 			req := scriptedpeer.Receive(t, s.endpoint.received, "request")
 			io.WriteString(req.conn, responseFor("1")+responseFor("1"))
 			scriptedpeer.Receive(t, result, "result")
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 			s.to.Drop()
 			s.to = s.pool.newTarget(s.endpoint.addr)
 			endpointConn := s.complete("2")
@@ -717,7 +717,7 @@
 			io.WriteString(endpointConn, responseFor("1"))
 			s.awaitBytes(c.Conn)
 			closeIt(s)
-			s.wantSurplus(1)
+			s.checkSurplus(1)
 		})
 	}
 }
@@ -738,7 +738,7 @@
 	if r := scriptedpeer.Receive(t, result, "result"); r.Status != balancer.Cancelled {
 		t.Errorf("status %v, want %v", r.Status, balancer.Cancelled)
 	}
-	s.wantSurplus(0)
+	s.checkSurplus(0)
 }
 
 // pausedClientEnv has the test binary run as a client process of a pool. Its value is the endpoint's address and mode.
