--- a/internal/bench/secondresponses/secondresponses_test.go
+++ b/internal/bench/secondresponses/secondresponses_test.go
@@ -75,8 +75,7 @@
 	const seeds = 6
 	options := shortRun
 	options.Pool = PoolKind{Name: "without reuse delay", configure: func(*upstream.Options) {}}
-	options.Lateness = 5 * time.Millisecond
-	options.Rate = 1000
+	options.Lateness = 12 * time.Millisecond // several gaps between requests: the next one comes before
 	for seed := range uint64(seeds) {
 		options.Seed = seed
 		result, err := Run(context.Background(), options)
