upstream: arrivals on all idle connections are known before one is selected

Callers saw: a request answered with the response to an earlier one, although a second response that showed how late they come at that endpoint already lay unread on another idle connection (or on one to another endpoint of the pool).

Cause: the rest was decided on what had been read. A selection inspected the connections it might use and the one used last; the others were inspected 10 ms or more after their last inspection. A scratch build that prints the idle connections at the selection: one with a surplus response in its socket and a count of 0, the other one rested for 40 ms of 40; that one was used.

Change: idle connections are registered in one epoll instance, once each time they become idle. Before a selection, and before a connection that was waited for is used, one call that does not wait returns those with arrivals, which are inspected, counted and closed first. That is the order which was missing; no rest and no bound has changed. The inspections one by one are gone.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,7 +33,7 @@
 )
 
 // reservedSockets is the number of descriptors that neither clients nor endpoints may use: standard streams, the
-// listener, the runtime, calls of discovery and the configuration file.
+// listener, the runtime, arrivals on idle connections, calls of discovery and the configuration file.
 const reservedSockets = 16
 
 const (
--- /dev/null
+++ b/internal/upstream/arrivals.go
@@ -0,0 +1,93 @@
+package upstream
+
+import (
+	"errors"
+	"os"
+	"syscall"
+)
+
+// arrivals finds the idle connections on which something has arrived, or that were closed by their endpoints, with one
+// system call for all connections (epoll). Its methods must not be called concurrently. The zero arrivals watches
+// nothing.
+type arrivals struct {
+	epoll  *os.File        // owns epollFD; nil until a connection is watched
+	fd     int             // the descriptor of epoll
+	conns  map[int32]*Conn // by descriptor: the connections that have been watched
+	events [maxArrivalEvents]syscall.EpollEvent
+}
+
+// maxArrivalEvents is how many events one system call returns at most.
+const maxArrivalEvents = 64
+
+// arrivalEvents are the events of interest. A connection reports them once, until it is watched again: one that is in
+// use reports its response at most, and one that stays idle nothing.
+const arrivalEvents = syscall.EPOLLIN | syscall.EPOLLRDHUP | syscall.EPOLLONESHOT
+
+// watch has a connection reported if something has arrived on it, or arrives. An error means that it is not.
+func (a *arrivals) watch(c *Conn) error {
+	if err := a.open(); err != nil {
+		return err
+	}
+	var watchErr error
+	err := c.control(func(fd int) {
+		watched := int32(fd)
+		operation := syscall.EPOLL_CTL_MOD
+		if a.conns[watched] != c {
+			operation = syscall.EPOLL_CTL_ADD
+		}
+		event := syscall.EpollEvent{Events: arrivalEvents, Fd: watched}
+		watchErr = syscall.EpollCtl(a.fd, operation, fd, &event)
+		if watchErr == nil {
+			a.conns[watched] = c
+			c.watchedFD = watched
+		}
+	})
+	return errors.Join(err, watchErr)
+}
+
+// open opens the epoll instance, unless it is open.
+func (a *arrivals) open() error {
+	if a.epoll != nil {
+		return nil
+	}
+	fd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return os.NewSyscallError("epoll_create1", err)
+	}
+	a.epoll = os.NewFile(uintptr(fd), "epoll")
+	a.fd = fd
+	a.conns = map[int32]*Conn{}
+	return nil
+}
+
+// forget ends the watch of a connection that has been closed, by which the epoll instance has removed it. Another
+// connection may have got its descriptor since.
+func (a *arrivals) forget(c *Conn) {
+	if a.conns[c.watchedFD] == c {
+		delete(a.conns, c.watchedFD)
+	}
+}
+
+// all yields the connections on which something has arrived since they were watched. It does not wait.
+func (a *arrivals) all(yield func(*Conn) bool) {
+	for more := len(a.conns) > 0; more; {
+		n, err := syscall.EpollWait(a.fd, a.events[:], 0)
+		if err != nil {
+			return
+		}
+		for _, event := range a.events[:n] {
+			if c := a.conns[event.Fd]; c != nil && !yield(c) {
+				return
+			}
+		}
+		more = n == len(a.events)
+	}
+}
+
+// close ends all watches.
+func (a *arrivals) close() {
+	if a.epoll != nil {
+		a.epoll.Close()
+	}
+	*a = arrivals{}
+}
--- a/internal/upstream/inspect.go
+++ b/internal/upstream/inspect.go
@@ -14,7 +14,7 @@
 // belongs to: a second response to one request passes for the response to the next request on the same connection, if
 // it arrives after that has been written. Other bytes that belong to no request cannot pass for a response.
 
-// observationInterval is how often connections at rest are inspected at most.
+// observationInterval is how often idle connections are inspected while one of them rests.
 const observationInterval = 10 * time.Millisecond
 
 // responsePrefix starts every HTTP/1 response.
@@ -71,17 +71,12 @@
 	return state
 }
 
-// control calls a function with the descriptor of the connection.
+// control calls a function with the descriptor of the connection, while that cannot be closed.
 func (c *Conn) control(do func(fd int)) error {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return errors.ErrUnsupported
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Control(func(fd uintptr) { do(int(fd)) })
+	return c.raw.Control(func(fd uintptr) { do(int(fd)) })
 }
 
 // lastArrival returns when bytes arrived last, to some milliseconds; the present instant if that is not known.
@@ -128,14 +123,24 @@
 	return state
 }
 
-// restingConn is a connection that observeResting inspects.
+// inspectArrivalsLocked closes the idle connections, of all targets, on which something has arrived. A second response
+// is evidence for all connections of its pool: it must be known before one of them is selected.
+func (p *Pool) inspectArrivalsLocked() {
+	for c := range p.arrivals.all {
+		if c.isIdle && p.inspectLocked(c) != connQuiet {
+			p.closeLocked(p.removeConnLocked(c))
+		}
+	}
+}
+
+// restingConn is a connection that observeResting observes.
 type restingConn struct {
 	conn         *Conn
 	lastResponse time.Time // of the connection, when it began to rest
 	nextCheck    time.Time
 }
 
-// observeLocked has an idle connection inspected while it rests. A second response is detected on it then even if no
+// observeLocked has an idle connection observed while it rests. A second response is detected on it then even if no
 // other request would use it, and the delays of this process are noticed meanwhile.
 func (p *Pool) observeLocked(c *Conn) {
 	if p.options.ReuseDelay <= 0 || !c.isIdle || p.restLeftLocked(c) <= 0 {
@@ -158,13 +163,14 @@
 	}
 }
 
-// observeResting inspects connections until none rests any more, and no attempt waits for one.
+// observeResting inspects idle connections until none rests any more, and no attempt waits for one.
 func (p *Pool) observeResting() {
 	for more := true; more; {
 		time.Sleep(observationInterval)
 		p.mu.Lock()
 		p.noteDelayLocked()
-		p.inspectRestingLocked()
+		p.inspectArrivalsLocked()
+		p.dropRestedLocked()
 		p.nextObservation = time.Now().Add(observationInterval)
 		more = len(p.resting) > 0 || p.awaiting > 0
 		p.observing = more
@@ -181,8 +187,8 @@
 	}
 }
 
-// inspectRestingLocked inspects the connections at rest that are due, and drops those that rest no more.
-func (p *Pool) inspectRestingLocked() {
+// dropRestedLocked drops the connections from those at rest that rest no more.
+func (p *Pool) dropRestedLocked() {
 	now := time.Now()
 	stillResting := p.resting[:0]
 	for _, r := range p.resting {
@@ -194,8 +200,7 @@
 	p.resting = stillResting
 }
 
-// isStillResting inspects a connection if it is due, and reports whether it goes on to rest. One on which something has
-// arrived is closed.
+// isStillResting reports whether a connection goes on to rest, as far as it is due to be checked.
 func (p *Pool) isStillResting(r *restingConn, now time.Time) bool {
 	c := r.conn
 	if !c.isIdle || c.lastResponse != r.lastResponse {
@@ -204,10 +209,6 @@
 	if now.Before(r.nextCheck) {
 		return true
 	}
-	if p.inspectLocked(c) != connQuiet {
-		p.closeLocked(p.removeConnLocked(c))
-		return false
-	}
 	r.nextCheck = now.Add(now.Sub(r.lastResponse))
 	return p.restLeftLocked(c) > 0
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,8 +1,8 @@
 // Package upstream holds the connections to endpoints and makes attempts and health checks on them over HTTP/1.1
 // (RFC 9112). It does not choose endpoints, and must not import the packages that serve clients. pool.go keeps the
-// connections, and reuse.go selects the one that an attempt uses; inspect.go looks at connections at rest, and
-// surplus.go counts the responses found there; exchange.go makes the attempts of clients' requests; buffered.go makes
-// health checks, and small exchanges that are read completely.
+// connections, and reuse.go selects the one that an attempt uses; arrivals.go finds the idle connections on which
+// something has arrived, inspect.go looks at them, and surplus.go counts the responses found there; exchange.go makes
+// the attempts of clients' requests; buffered.go makes health checks, and small exchanges that are read completely.
 package upstream
 
 import (
@@ -69,6 +69,7 @@
 	discardIdle     bool                 // idle connections are closed
 
 	rests           *reuse.Decider // decides how long connections rest
+	arrivals        arrivals       // on idle connections
 	resting         []restingConn  // in the order in which they began to rest
 	observing       bool           // observeResting runs
 	awaiting        int            // attempts that wait for a connection to have rested
@@ -133,6 +134,8 @@
 // Conn is a connection to an endpoint.
 type Conn struct {
 	net.Conn
+	raw       syscall.RawConn  // nil: the connection has no descriptor
+	watchedFD int32            // its descriptor, if arrivals watches it
 	readLimit io.LimitedReader // bytes that may still be read
 	reader    *bufio.Reader
 	target    *Target
@@ -147,6 +150,9 @@
 
 func newConn(nc net.Conn, to *Target) *Conn {
 	c := &Conn{Conn: nc, target: to}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn() // its error is that of a closed connection, which has no descriptor either
+	}
 	c.readLimit.R = nc
 	c.reader = bufio.NewReaderSize(&c.readLimit, connReadBufferSize)
 	return c
@@ -251,9 +257,10 @@
 	p.observeLocked(c)
 }
 
-// insertIdleLocked adds an idle connection to its target, in the order in which they were last used.
+// insertIdleLocked adds an idle connection to its target, in the order in which they were last used. One that cannot be
+// watched is closed: what arrives on it would not be known.
 func (p *Pool) insertIdleLocked(c *Conn) {
-	if c.target.dropped || p.discardIdle {
+	if c.target.dropped || p.discardIdle || p.arrivals.watch(c) != nil {
 		p.inspectLocked(c)
 		p.closeLocked(c)
 		return
@@ -278,6 +285,7 @@
 
 func (p *Pool) closeLocked(c *Conn) {
 	c.Conn.Close()
+	p.arrivals.forget(c)
 	p.openConns--
 }
 
@@ -379,7 +387,15 @@
 			p.reportSurplus()
 		case <-ctx.Done():
 			p.SetKeepIdle(false)
+			p.endWatch()
 			return
 		}
 	}
 }
+
+// endWatch ends the watch of idle connections, of which there are none any more.
+func (p *Pool) endWatch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrivals.close()
+}
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
+	"dunlinsail/balancer"
 	"dunlinsail/internal/clock"
+	"dunlinsail/internal/engine"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
 
@@ -161,3 +164,62 @@
 		t.Errorf("rest %v, want %v or more", rest, lateness)
 	}
 }
+
+// Guards against reuse while an unread second response at another endpoint shows what the pool's endpoints do.
+func TestSecondResponseAtAnotherEndpoint(t *testing.T) {
+	s := newSecondResponseTest(t, withReuseDelay(DefaultReuseDelay, false))
+	elsewhere := s.complete("1")
+	c := s.onlyIdle()
+	s.rest(150 * time.Millisecond)
+	s.useNewEndpoint()
+	endpointConn := s.complete("2")
+	s.rest(3 * DefaultReuseDelay)
+	io.WriteString(elsewhere, responseFor("1"))
+	s.awaitBytes(c.Conn)
+	s.mustOutwaitSecondResponse(endpointConn, "3")
+}
+
+// Guards against arrivals that are not found since more connections have some than one system call reports.
+func TestSecondResponsesOnManyConnections(t *testing.T) {
+	const connections = maxArrivalEvents + 1
+	s := newLongRestTest(t)
+	for _, endpointConn := range s.completeAtOnce(connections) {
+		io.WriteString(endpointConn, s.sent[endpointConn])
+	}
+	s.awaitBytesOnIdle()
+	s.complete("2")
+	s.checkSurplus(connections)
+}
+
+// Guards against a second response that is not found since its connection was still in use when it was reported.
+func TestSecondResponseReportedWhileInUse(t *testing.T) {
+	// Of such a body, the part beyond the read buffer is read from the connection without a byte more.
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000)
+	s := newLongRestTest(t)
+	used := s.complete("0")
+	s.rest(2 * time.Hour)
+	attempt := s.pool.newAttempt(s.to)
+	attempt.ResponseStarted = func(r engine.AttemptResult) bool {
+		stream := r.Response.(*Response).Stream
+		s.pool.mu.Lock()
+		s.pool.inspectArrivalsLocked()
+		s.pool.mu.Unlock()
+		go func() {
+			io.Copy(io.Discard, stream)
+			stream.Finish()
+		}()
+		return true
+	}
+	result := s.start(attempt, tracedRequest("GET", "1"))
+	req := scriptedpeer.Receive(t, s.endpoint.received, "request")
+	if req.conn != used {
+		t.Fatal("the request came on another connection")
+	}
+	io.WriteString(req.conn, response+response)
+	if r := scriptedpeer.Receive(t, result, "result"); r.Status != balancer.OK {
+		t.Fatalf("status %v", r.Status)
+	}
+	s.useNewEndpoint()
+	s.complete("2")
+	s.checkSurplus(1)
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -57,6 +57,7 @@
 // takeForProbeOrReserveLocked returns an idle connection for a health check. It returns no connection and no error
 // where a new one is to be opened, which it has counted then.
 func (p *Pool) takeForProbeOrReserveLocked(to *Target) (*Conn, error) {
+	p.inspectArrivalsLocked()
 	mayUse := func(c *Conn) bool { return !c.isProbed || p.restLeftLocked(c) <= 0 }
 	if c := p.takeUsableLocked(to, mayUse); c != nil {
 		return c, nil
@@ -87,6 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.noteDelayLocked()
+	p.inspectArrivalsLocked()
 	p.awaiting--
 	switch {
 	case c.target.dropped:
@@ -135,11 +137,11 @@
 // long it has to. It returns nil if a connection is to be opened.
 func (p *Pool) takeRestedLocked(to *Target, mayWait bool) (*Conn, time.Duration) {
 	p.noteDelayLocked() // what delays this process may not have let observeResting run yet
+	p.inspectArrivalsLocked()
 	hasRested := func(c *Conn) bool { return p.restLeftLocked(c) <= 0 }
 	if c := p.takeUsableLocked(to, hasRested); c != nil {
 		return c, 0
 	}
-	p.inspectLatestLocked(to)
 	if !mayWait {
 		return nil, 0
 	}
@@ -192,18 +194,6 @@
 	return nil
 }
 
-// inspectLatestLocked inspects the idle connection used last, which is the likeliest to get a second response, and
-// closes it if anything has arrived.
-func (p *Pool) inspectLatestLocked(to *Target) {
-	if len(to.idle) == 0 {
-		return
-	}
-	latest := to.idle[len(to.idle)-1]
-	if p.inspectLocked(latest) != connQuiet {
-		p.closeLocked(p.removeConnLocked(latest))
-	}
-}
-
 // takeEarliestLocked removes and returns the idle connection that is the first to have rested, and how long it has to,
 // if that is within maxWaits. Otherwise it returns nil. An attempt that gets one waits for it (awaitRest).
 func (p *Pool) takeEarliestLocked(to *Target) (*Conn, time.Duration) {
--- a/internal/upstream/second_response_test.go
+++ b/internal/upstream/second_response_test.go
@@ -133,6 +133,29 @@
 	return req.conn
 }
 
+// completeAtOnce makes requests at once that are served properly, and returns their connections at the endpoint.
+func (s *secondResponseTest) completeAtOnce(requests int) (conns []*net.TCPConn) {
+	s.Helper()
+	var results []<-chan engine.AttemptResult
+	for i := range requests {
+		results = append(results, s.startGet(fmt.Sprint("before-", i)))
+	}
+	var received []receivedRequest
+	for range requests {
+		received = append(received, scriptedpeer.Receive(s, s.endpoint.received, "request"))
+	}
+	for _, req := range received {
+		s.respond(req)
+		conns = append(conns, req.conn)
+	}
+	for _, result := range results {
+		if r := scriptedpeer.Receive(s, result, "result"); r.Status != balancer.OK {
+			s.Fatalf("status %v", r.Status)
+		}
+	}
+	return conns
+}
+
 // isServedWrongly makes a request. If it comes on a used connection, the endpoint first responds to the request before
 // it once more, as late as possible, and then to this one. It reports whether a wrong response was served.
 func (s *secondResponseTest) isServedWrongly(id string) bool {
@@ -305,18 +328,7 @@
 // Guards against reuse without a rest where many connections to an endpoint are within theirs.
 func TestSecondResponseBesideManyResting(t *testing.T) {
 	s := newSecondResponseTest(t, withReuseDelay(time.Hour, true))
-	var results []<-chan engine.AttemptResult
-	for i := range 64 {
-		results = append(results, s.startGet(fmt.Sprint("before-", i)))
-	}
-	for range results {
-		s.respond(scriptedpeer.Receive(t, s.endpoint.received, "request"))
-	}
-	for _, result := range results {
-		if r := scriptedpeer.Receive(t, result, "result"); r.Status != balancer.OK {
-			t.Fatalf("status %v", r.Status)
-		}
-	}
+	s.completeAtOnce(64)
 	s.mustBeServedRightly("2")
 }
 
