upstream: a second response is recognized by its content if the right one is behind it

Callers saw: a request answered with the body of the request before it on the same connection, although its own response had arrived too.

Cause: an endpoint's second response to one request and its response to the next are both there when this process reads. The first was served whatever it said; both orders were held to look alike. They do by their framing, but a second response repeats the last response of its connection, and nothing kept what that was. Evidence: a scratch build shows 39 bytes left unread behind the response served, which start a response and are the request's own.

Change: a connection keeps a digest of its last response (status, end-to-end fields, body). A buffered response with the same digest, behind which another response has begun to arrive, is counted as surplus, and the next one is read within the usual times. Nothing is held back to see whether one follows. Where the endpoint repeats its response to the new request, the first read differs from the last and is served, as before. An error with Connection: close behind an equal response is not taken for the request's own. Streamed first responses, replaced errors and health checks are covered.

--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -160,9 +161,9 @@
 	if written != nil {
 		written.Add(1)
 	}
-	response, err := c.readResponse()
+	response, keep, err := p.readOwnResponse(c)
 	result := p.result(balancer.Reset)
-	release(stop() && err == nil && !response.closeAfter && p.nothingFollows(c))
+	release(stop() && keep && p.nothingFollows(c))
 	if err != nil {
 		return result
 	}
@@ -183,6 +184,24 @@
 	return result
 }
 
+// readOwnResponse reads the response to the request in flight, behind a second response to the request before it. It
+// reports whether the connection may be used again.
+func (p *Pool) readOwnResponse(c *Conn) (response *parsedResponse, reusable bool, err error) {
+	response, err = c.readResponse()
+	if err != nil {
+		return nil, false, err
+	}
+	digest := digestHead(response.statusCode, response.Header) + digestBody(response.Body)
+	if c.isSecondResponse(digest) {
+		p.noteRepeated(c)
+		c.readLimit.N = maxResponseBytes
+		response, err = c.readResponse()
+		return response, false, err
+	}
+	c.lastDigest = digest
+	return response, !response.closeAfter, nil
+}
+
 const (
 	maxInterimResponses = 8                      // 1xx responses before the final one
 	maxResponseStall    = 100 * time.Millisecond // from the first byte of a response to its last
@@ -211,7 +230,7 @@
 			return nil, err
 		}
 		c.SetReadDeadline(time.Now().Add(maxResponseStall))
-		response, err := c.readHead()
+		response, err := readHead(c.reader)
 		if err != nil {
 			return nil, err
 		}
@@ -226,8 +245,8 @@
 }
 
 // readHead reads a status line and headers.
-func (c *Conn) readHead() (*parsedResponse, error) {
-	text := textproto.NewReader(c.reader)
+func readHead(r *bufio.Reader) (*parsedResponse, error) {
+	text := textproto.NewReader(r)
 	line, err := text.ReadLine()
 	if err != nil {
 		return nil, err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -75,6 +75,9 @@
 
 	mu        sync.Mutex
 	responded bool // the response's head has been read, or could not be
+
+	isBuffered bool           // the last response read is complete, and nothing of it has been handed on
+	digest     responseDigest // of the last response read, if it was read to its end
 }
 
 // run writes the request, whose first piece is text, and reads its response. It reports whether the connection may be
@@ -83,6 +86,19 @@
 	if status := e.writeRequest(text); status != balancer.OK {
 		return e.pool.result(status), false
 	}
+	result, reusable = e.readResponse(ctx)
+	if e.isBuffered && e.conn.isSecondResponse(e.digest) {
+		e.pool.noteRepeated(e.conn)
+		e.awaitNextHead()
+		result, _ = e.readResponse(ctx)
+		return result, false
+	}
+	e.conn.lastDigest = e.digest
+	return result, reusable
+}
+
+// readResponse reads a response. It reports whether the connection may be used again.
+func (e *exchange) readResponse(ctx context.Context) (result engine.AttemptResult, reusable bool) {
 	response, closeAfter, err := e.awaitHead()
 	result = e.pool.result(balancer.Reset)
 	if err != nil {
@@ -96,16 +112,20 @@
 	result.Response = response
 	result.SentAt = e.sentAt.Load()
 	body := http1msg.NewBody(e.conn.reader, response.Framing)
-	if policy.ReplaceErrors && result.Status != balancer.OK {
-		result.Response = nil
-		complete, err := e.bufferBody(response, body, false)
-		return result, complete && err == nil && !closeAfter
+	isReplaced := policy.ReplaceErrors && result.Status != balancer.OK
+	complete, err := e.bufferBody(response, body, policy.BufferSlowResponses && !isReplaced)
+	e.isBuffered = complete && err == nil
+	e.digest = digestHead(response.StatusCode, response.Header)
+	if e.isBuffered {
+		e.digest += digestBody(response.Buffered)
 	}
-	complete, err := e.bufferBody(response, body, policy.BufferSlowResponses)
-	if err != nil {
+	switch {
+	case isReplaced:
+		result.Response = nil
+		return result, e.isBuffered && !closeAfter
+	case err != nil:
 		return e.pool.result(balancer.Reset), false
-	}
-	if !complete {
+	case !complete:
 		return e.streamResponse(ctx, result, response, body, closeAfter)
 	}
 	result.ObservedAt = e.pool.options.Clock.Now()
@@ -174,6 +194,7 @@
 	stream := &ResponseStream{
 		conn:      e.conn,
 		body:      body,
+		digest:    newStreamDigest(e.digest),
 		policy:    policy,
 		remaining: math.MaxInt64,
 		ended:     make(chan error, 1),
@@ -184,6 +205,7 @@
 	if policy.BodyTimeout > 0 {
 		stream.deadline = time.Now().Add(policy.BodyTimeout)
 	}
+	stream.digest.body.Write(response.Buffered)
 	response.Stream = stream
 	classified := result.Status
 	result.Status = balancer.OK
@@ -199,6 +221,7 @@
 	}
 	switch {
 	case body.Done():
+		e.digest = stream.digest.sum()
 		result.Status = classified
 		return result, !closeAfter
 	case err == nil:
@@ -263,11 +286,28 @@
 	defer e.mu.Unlock()
 	e.conn.SetWriteDeadline(time.Time{})
 	e.sentAt.Store(e.pool.options.Clock.Now())
+	e.startResponseTimeoutLocked()
+}
+
+// startResponseTimeoutLocked starts the response's timeout, unless its head has been read.
+func (e *exchange) startResponseTimeoutLocked() {
 	if timeout := e.request.responseTimeout(); !e.responded && timeout > 0 {
 		e.conn.SetReadDeadline(time.Now().Add(timeout))
 	}
 }
 
+// awaitNextHead prepares for the head of another response, after that of a second response to the request before.
+func (e *exchange) awaitNextHead() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn.readLimit.N = maxResponseHeadBytes
+	e.conn.SetReadDeadline(time.Time{})
+	e.responded = false
+	if e.sentAt.Load() != 0 {
+		e.startResponseTimeoutLocked()
+	}
+}
+
 // readHead reads up to the head of the final response, and reports whether the endpoint closes the connection after
 // it.
 func (e *exchange) readHead() (*Response, bool, error) {
@@ -276,7 +316,7 @@
 		if _, err := e.conn.reader.Peek(1); err != nil {
 			return nil, false, err
 		}
-		head, err := e.conn.readHead()
+		head, err := readHead(e.conn.reader)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -145,6 +145,7 @@
 
 	lastResponse     time.Time       // after which a second response may follow; zero: there was none
 	previousResponse time.Time       // the one before lastResponse; zero: there was none
+	lastDigest       responseDigest  // of the last response
 	availableAt      monotime.Micros // when its rest ended, if an attempt waited for that; else 0
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -35,6 +35,7 @@
 type ResponseStream struct {
 	conn      *Conn
 	body      *http1msg.Body
+	digest    *streamDigest // of what has been read
 	policy    *ResponsePolicy
 	deadline  time.Time // zero is no bound
 	remaining int64     // bytes allowed
@@ -54,6 +55,7 @@
 	}
 	r.conn.SetReadDeadline(until)
 	n, err := r.body.Read(p)
+	r.digest.body.Write(p[:n])
 	r.remaining -= int64(n)
 	if err == nil && r.remaining < 0 {
 		n = 0
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -52,6 +52,14 @@
 	p.addSurplusLocked(c, now, now, c.lastResponse)
 }
 
+// noteRepeated notes a second response to the request before the one in flight, which was read in place of the response
+// to that one. Its content says which request it belongs to, so that the response before it is not in doubt.
+func (p *Pool) noteRepeated(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addSurplusLocked(c, time.Now(), c.lastResponse, time.Time{})
+}
+
 // discardAfterOther closes a connection on which a health check got a response without a load report. From an endpoint
 // that sends them, that is a second response to an earlier request.
 func (p *Pool) discardAfterOther(c *Conn) {
