upstream: a connection is registered for arrivals once, and is not inspected twice

Need: with the arrivals on idle connections a request takes two system calls more (registered anew each time a connection becomes idle, and the call that asks), and the inspection at the selection looks for what that call has just answered.

Change: connections are registered once, edge-triggered. One that is reported while it is in use is inspected when it becomes idle again, as it is not reported twice. TestSecondResponsesOnManyConnections holds the lock, so that nothing else can find the arrivals first.

Package with -race passes.

--- a/internal/upstream/arrivals.go
+++ b/internal/upstream/arrivals.go
@@ -6,12 +6,11 @@
 	"syscall"
 )
 
-// arrivals finds the idle connections on which something has arrived, or that were closed by their endpoints, with one
-// system call for all connections (epoll). Its methods must not be called concurrently. The zero arrivals watches
-// nothing.
+// arrivals finds the connections on which something has arrived, or that were closed by their endpoints, with one
+// system call for all of them (epoll). Its methods must not be called concurrently. The zero arrivals watches nothing.
 type arrivals struct {
-	epoll  *os.File        // owns epollFD; nil until a connection is watched
-	fd     int             // the descriptor of epoll
+	epoll  *os.File        // owns fd; nil until a connection is watched
+	fd     int             // of epoll
 	conns  map[int32]*Conn // by descriptor: the connections that have been watched
 	events [maxArrivalEvents]syscall.EpollEvent
 }
@@ -19,27 +18,28 @@
 // maxArrivalEvents is how many events one system call returns at most.
 const maxArrivalEvents = 64
 
-// arrivalEvents are the events of interest. A connection reports them once, until it is watched again: one that is in
-// use reports its response at most, and one that stays idle nothing.
-const arrivalEvents = syscall.EPOLLIN | syscall.EPOLLRDHUP | syscall.EPOLLONESHOT
+// arrivalEvents are the events of interest, each reported once (edge-triggered).
+const arrivalEvents = syscall.EPOLLIN | syscall.EPOLLRDHUP | epollEdgeTriggered
 
-// watch has a connection reported if something has arrived on it, or arrives. An error means that it is not.
+// epollEdgeTriggered is EPOLLET, which package syscall has as a negative number.
+const epollEdgeTriggered = 1 << 31
+
+// watch has a connection reported, until it is closed, if something has arrived on it, and each time something arrives.
+// An error means that it is not.
 func (a *arrivals) watch(c *Conn) error {
+	if a.conns[c.watchedFD] == c {
+		return nil
+	}
 	if err := a.open(); err != nil {
 		return err
 	}
 	var watchErr error
 	err := c.control(func(fd int) {
-		watched := int32(fd)
-		operation := syscall.EPOLL_CTL_MOD
-		if a.conns[watched] != c {
-			operation = syscall.EPOLL_CTL_ADD
-		}
-		event := syscall.EpollEvent{Events: arrivalEvents, Fd: watched}
-		watchErr = syscall.EpollCtl(a.fd, operation, fd, &event)
+		event := syscall.EpollEvent{Events: arrivalEvents, Fd: int32(fd)}
+		watchErr = syscall.EpollCtl(a.fd, syscall.EPOLL_CTL_ADD, fd, &event)
 		if watchErr == nil {
-			a.conns[watched] = c
-			c.watchedFD = watched
+			c.watchedFD = event.Fd
+			a.conns[event.Fd] = c
 		}
 	})
 	return errors.Join(err, watchErr)
@@ -68,10 +68,14 @@
 	}
 }
 
-// all yields the connections on which something has arrived since they were watched. It does not wait.
+// all yields the connections on which something has arrived, is unread, and has not been reported yet. It does not
+// wait.
 func (a *arrivals) all(yield func(*Conn) bool) {
 	for more := len(a.conns) > 0; more; {
 		n, err := syscall.EpollWait(a.fd, a.events[:], 0)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
 		if err != nil {
 			return
 		}
--- a/internal/upstream/inspect.go
+++ b/internal/upstream/inspect.go
@@ -124,15 +124,31 @@
 }
 
 // inspectArrivalsLocked closes the idle connections, of all targets, on which something has arrived. A second response
-// is evidence for all connections of its pool: it must be known before one of them is selected.
+// is evidence for all connections of its pool: it must be known before one of them is selected. What has arrived on a
+// connection in use is its response, or will be looked for when that is idle again.
 func (p *Pool) inspectArrivalsLocked() {
 	for c := range p.arrivals.all {
-		if c.isIdle && p.inspectLocked(c) != connQuiet {
+		if !c.isIdle {
+			c.wasReported = true
+			continue
+		}
+		if p.inspectLocked(c) != connQuiet {
 			p.closeLocked(p.removeConnLocked(c))
 		}
 	}
 }
 
+// watchLocked has arrivals on a connection found that becomes idle, and reports whether it may be kept. What arrived
+// while it was in use may have been reported then, and is not reported again.
+func (p *Pool) watchLocked(c *Conn) bool {
+	if p.arrivals.watch(c) != nil {
+		return false
+	}
+	hasArrived := c.wasReported && c.inspect() != connQuiet
+	c.wasReported = false
+	return !hasArrived
+}
+
 // restingConn is a connection that observeResting observes.
 type restingConn struct {
 	conn         *Conn
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,7 +69,7 @@
 	discardIdle     bool                 // idle connections are closed
 
 	rests           *reuse.Decider // decides how long connections rest
-	arrivals        arrivals       // on idle connections
+	arrivals        arrivals       // on connections that have been idle
 	resting         []restingConn  // in the order in which they began to rest
 	observing       bool           // observeResting runs
 	awaiting        int            // attempts that wait for a connection to have rested
@@ -135,7 +135,6 @@
 type Conn struct {
 	net.Conn
 	raw       syscall.RawConn  // nil: the connection has no descriptor
-	watchedFD int32            // its descriptor, if arrivals watches it
 	readLimit io.LimitedReader // bytes that may still be read
 	reader    *bufio.Reader
 	target    *Target
@@ -143,6 +142,9 @@
 	isIdle    bool      // it is among the idle connections of its target
 	isProbed  bool      // its last exchange was a health check
 
+	watchedFD   int32 // its descriptor, if arrivals watches it
+	wasReported bool  // an arrival on it was reported while it was in use
+
 	lastResponse     time.Time       // after which a second response may follow; zero: there was none
 	previousResponse time.Time       // the one before lastResponse; zero: there was none
 	lastDigest       responseDigest  // of the last response
@@ -258,10 +260,10 @@
 	p.observeLocked(c)
 }
 
-// insertIdleLocked adds an idle connection to its target, in the order in which they were last used. One that cannot be
-// watched is closed: what arrives on it would not be known.
+// insertIdleLocked adds an idle connection to its target, in the order in which they were last used. One on
+// which something has arrived, or that cannot be watched for that, is closed.
 func (p *Pool) insertIdleLocked(c *Conn) {
-	if c.target.dropped || p.discardIdle || p.arrivals.watch(c) != nil {
+	if c.target.dropped || p.discardIdle || !p.watchLocked(c) {
 		p.inspectLocked(c)
 		p.closeLocked(c)
 		return
@@ -357,10 +359,11 @@
 func (p *Pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.inspectArrivalsLocked()
 	for to := range p.idleTargets {
 		for i := len(to.idle) - 1; i >= 0; i-- {
-			if !p.isUsableLocked(to.idle[i]) {
-				p.closeLocked(p.removeIdleLocked(to, i))
+			if p.hasExpiredLocked(to.idle[i]) {
+				p.closeIdleLocked(to, i)
 			}
 		}
 	}
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -183,11 +183,16 @@
 func TestSecondResponsesOnManyConnections(t *testing.T) {
 	const connections = maxArrivalEvents + 1
 	s := newLongRestTest(t)
-	for _, endpointConn := range s.completeAtOnce(connections) {
+	endpointConns := s.completeAtOnce(connections)
+	s.pool.mu.Lock()
+	for _, endpointConn := range endpointConns {
 		io.WriteString(endpointConn, s.sent[endpointConn])
 	}
-	s.awaitBytesOnIdle()
-	s.complete("2")
+	for _, c := range s.to.idle {
+		s.awaitBytes(c.Conn)
+	}
+	s.pool.inspectArrivalsLocked()
+	s.pool.mu.Unlock()
 	s.checkSurplus(connections)
 }
 
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -178,18 +178,19 @@
 }
 
 // takeUsableLocked removes and returns the idle connection used last of those for which a condition holds, nil if there
-// is none. It closes those of them that it finds unusable.
+// is none. It closes those of them that have expired. The caller has inspected arrivals.
 func (p *Pool) takeUsableLocked(to *Target, mayUse func(*Conn) bool) *Conn {
 	for i := len(to.idle) - 1; i >= 0; i-- {
 		if !mayUse(to.idle[i]) {
 			continue
 		}
-		c := p.removeIdleLocked(to, i)
-		if p.isUsableLocked(c) {
-			c.availableAt = 0
-			return c
+		if p.hasExpiredLocked(to.idle[i]) {
+			p.closeIdleLocked(to, i)
+			continue
 		}
-		p.closeLocked(c)
+		c := p.removeIdleLocked(to, i)
+		c.availableAt = 0
+		return c
 	}
 	return nil
 }
@@ -241,10 +242,12 @@
 	return clock.Duration(p.rests.Left(p.options.Clock.Now(), c.target.endpoint, elapsed))
 }
 
-// isUsableLocked reports whether an idle connection has neither expired nor been closed, or written to, by its
-// endpoint. A request written to another connection would be lost and might have run, or receive another request's
-// response.
+// isUsableLocked reports whether a connection that was waited for has neither expired nor been closed, or written to,
+// by its endpoint. A request written to another connection would be lost and might have run, or receive another
+// request's response.
 func (p *Pool) isUsableLocked(c *Conn) bool {
-	quiet := p.inspectLocked(c) == connQuiet
-	return quiet && time.Since(c.idleSince) < p.maxIdleTime
+	return p.inspectLocked(c) == connQuiet && !p.hasExpiredLocked(c)
 }
+
+// hasExpiredLocked reports whether a connection has been idle for too long to be used again.
+func (p *Pool) hasExpiredLocked(c *Conn) bool { return time.Since(c.idleSince) >= p.maxIdleTime }
