--- a/internal/experiment/soak/variation_test.go
+++ b/internal/experiment/soak/variation_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// Second responses beside the drawn faults come at the rate that was asked for, and none where none were.
+// Second responses beside the drawn faults come at the rate that is set, and not at all at rate 0.
 func TestExtraSecondResponses(t *testing.T) {
 	for oneIn, want := range map[int]int{0: 0, 1: 1000} {
 		v := drawVariation(variationRNG(1), oneIn)
--- a/internal/fake/client/client.go
+++ b/internal/fake/client/client.go
@@ -43,7 +43,7 @@
 	// Grace is how long after its timeout a response is still waited for.
 	Grace time.Duration
 	// ResendAfterReset has a request sent again whose reused connection is reset right after it, as if the connection
-	// had ended: it crossed the server's close. Whoever sets it checks that no request ran twice.
+	// had ended: it crossed the server's close. A test that sets it has to check that no request ran twice.
 	ResendAfterReset bool
 	// Dial opens a connection; nil is that of package net.
 	Dial func(deadline time.Time) (net.Conn, error) `json:"-"`
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -162,7 +162,7 @@
 
 // startAnsweringEndpoint starts an endpoint that responds to every request, and counts its connections. It returns its
 // address.
-func startAnsweringEndpoint(t *testing.T, dials *atomic.Int32) string {
+func startAnsweringEndpoint(t testing.TB, dials *atomic.Int32) string {
 	t.Helper()
 	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
@@ -416,14 +416,7 @@
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
 	})
-	to := pool.newTarget(scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
-		for {
-			if _, err := scriptedpeer.ReadRequest(r); err != nil {
-				return
-			}
-			io.WriteString(c, okResponse)
-		}
-	}))
+	to := pool.newTarget(startAnsweringEndpoint(t, &atomic.Int32{}))
 	send := func(ctx context.Context) engine.AttemptResult {
 		return pool.Send(ctx, pool.newAttempt(to), plainStreamedGet())
 	}
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -113,15 +113,7 @@
 // BenchmarkConnectionsOpened reports the connections that are opened for requests to an endpoint that responds once.
 func BenchmarkConnectionsOpened(b *testing.B) {
 	var dials atomic.Int32
-	addr := scriptedpeer.StartTCP(b, func(c *net.TCPConn, r *bufio.Reader) {
-		dials.Add(1)
-		for {
-			if _, err := scriptedpeer.ReadRequest(r); err != nil {
-				return
-			}
-			io.WriteString(c, okResponse)
-		}
-	})
+	addr := startAnsweringEndpoint(b, &dials)
 	pool := newPool(func(o *Options) {
 		o.ReuseDelay = DefaultReuseDelay
 		o.ReuseDelayOptional = true
