--- /dev/null
+++ b/review/tool/check.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+)
+
+// history is what a record says of one request.
+type history struct {
+	sent, runs, refusals int
+	runsBeforeRefusal    int // runs before the first answer 429 or 503
+	refusedAfterRun      bool
+	statuses             []string
+}
+
+// readHistories reads a record, in the order of its lines.
+func readHistories(path string) (ids []string, byID map[string]*history, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer file.Close()
+	byID = map[string]*history{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 4 {
+			continue
+		}
+		var id, event string
+		switch fields[1] {
+		case "client":
+			event, id = fields[2], fields[3]
+		case "endpoint":
+			if len(fields) < 5 {
+				continue
+			}
+			event, id = fields[3], fields[4]
+		default:
+			continue
+		}
+		h := byID[id]
+		if h == nil {
+			h = &history{}
+			byID[id] = h
+			ids = append(ids, id)
+		}
+		switch event {
+		case "sent":
+			h.sent++
+		case "run":
+			h.runs++
+		case "answered":
+			h.statuses = append(h.statuses, fields[4])
+			if fields[4] == "429" || fields[4] == "503" {
+				if h.refusals == 0 {
+					h.runsBeforeRefusal = h.runs
+				}
+				h.refusals++
+				h.refusedAfterRun = h.refusedAfterRun || h.runs > 0
+			}
+		}
+	}
+	return ids, byID, lines.Err()
+}
+
+// checkRecord checks a record against a rule.
+func checkRecord(args []string) error {
+	flags := flag.NewFlagSet("check", flag.ExitOnError)
+	recordPath := flags.String("record", "", "the record")
+	rule := flags.String("rule", "", "refused-though-run, open-id-twice; refused prints the ids of refused requests")
+	_ = flags.Parse(args)
+	ids, byID, err := readHistories(*recordPath)
+	if err != nil {
+		return err
+	}
+	switch *rule {
+	case "refused":
+		var refused []string
+		for _, id := range ids {
+			if byID[id].refusals > 0 {
+				refused = append(refused, id)
+			}
+		}
+		fmt.Println(strings.Join(refused, ","))
+		return nil
+	case "refused-though-run":
+		var untrue, twice []string
+		for _, id := range ids {
+			if h := byID[id]; h.refusedAfterRun {
+				untrue = append(untrue, id)
+				if h.runs > 1 {
+					twice = append(twice, id)
+				}
+			}
+		}
+		if len(untrue) > 0 {
+			return ruleBroken(fmt.Sprintf("broken: %d requests were refused (429, 503) after they had run: %s; "+
+				"%d of them ran twice after the client's retry: %s",
+				len(untrue), strings.Join(untrue, " "), len(twice), strings.Join(twice, " ")))
+		}
+		fmt.Println("held: no request was refused that had run")
+		return nil
+	}
+	if *rule == "open-id-twice" {
+		return checkOpenIDs(*recordPath)
+	}
+	return fmt.Errorf("unknown rule %q", *rule)
+}
+
+// checkOpenIDs checks that no request runs whose id is that of an open request, one that was sent and not answered.
+func checkOpenIDs(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	open, runs := map[string]int{}, map[string]int{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		switch {
+		case len(fields) >= 4 && fields[1] == "client" && fields[2] == "sent":
+			open[fields[3]]++
+		case len(fields) >= 4 && fields[1] == "client":
+			if open[fields[3]]--; open[fields[3]] == 0 {
+				runs[fields[3]] = 0
+			}
+		case len(fields) >= 5 && fields[1] == "endpoint" && fields[3] == "run":
+			id := fields[4]
+			if runs[id]++; open[id] > 1 && runs[id] > 1 {
+				return ruleBroken("broken: " + id + " ran a second time while a request with this id was open")
+			}
+		}
+	}
+	fmt.Println("held: no request ran whose id was that of an open one")
+	return lines.Err()
+}
--- /dev/null
+++ b/review/tool/endpoint.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"flag"
+	"io"
+	"net/http"
+	"time"
+)
+
+// serveEndpoint is an endpoint: an ordinary HTTP/1.1 application. It runs a request once its last byte has come, which
+// it records at once as "run", works on it for a while, and answers 200. With -turn-away it runs nothing and answers
+// 503 with X-Never-Ran: 1, as an endpoint does whose queue is full.
+func serveEndpoint(args []string) error {
+	flags := flag.NewFlagSet("endpoint", flag.ExitOnError)
+	address := flags.String("address", "", "where to listen")
+	name := flags.String("name", "", "name in the record")
+	recordPath := flags.String("record", "", "the record")
+	work := flags.Duration("work", 0, "time of work on a request")
+	turnAway := flags.Bool("turn-away", false, "run nothing")
+	_ = flags.Parse(args)
+	rec, err := openRecord(*recordPath)
+	if err != nil {
+		return err
+	}
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		body, err := io.ReadAll(r.Body)
+		switch {
+		case err != nil:
+			rec.line("endpoint %s incomplete %s", *name, id)
+			return
+		case *turnAway:
+			rec.line("endpoint %s turned-away %s", *name, id)
+			w.Header().Set("X-Never-Ran", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		rec.line("endpoint %s run %s %s", *name, id, body)
+		time.Sleep(*work)
+		rec.line("endpoint %s done %s", *name, id)
+		_, _ = io.WriteString(w, "done "+id+"\n")
+	}
+	rec.line("endpoint %s starts", *name)
+	return http.ListenAndServe(*address, http.HandlerFunc(handler))
+}
