--- a/review/lib.sh
+++ b/review/lib.sh
@@ -11,7 +11,7 @@
 started=()
 
 cleanup() {
-	for pid in "${started[@]:-}"; do
+	for pid in "${started[@]:-}" $(jobs -p); do
 		[ -n "$pid" ] && kill -KILL "$pid" 2>/dev/null
 	done
 
