Pass on an endpoint's rejection only if no other attempt of the request may have run

Cause: a 429, a 503 or X-Never-Ran: 1 promises that a retry is harmless, but an endpoint knows of its own attempt only. The engine kept the latest response of any attempt and passed it on as the request's, whatever the other attempts had done.

Change: the host marks a response that promises a harmless retry, and the engine passes it on, on all three ways, only if the balancer allows it: the class is idempotent, or no other attempt may have run. This is the rule itself, asked at the place where a response becomes the request's; what promises nothing is passed on as before.

--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -75,3 +75,22 @@
 	}
 	return c.Idempotency == IdempotentByKey && c.DedupScope == DedupAll && !b.settings.StrictIdempotencyKeys
 }
+
+// MayForwardRejection reports whether an endpoint's response to an attempt may be the final response of its
+// request although it tells the client that a retry is harmless. An endpoint knows of its own attempt only.
+// The response may be forwarded if the class is idempotent, or if no other attempt may have run.
+func (b *Balancer) MayForwardRejection(id uint64, attemptNumber int) bool {
+	r, _ := b.findAttempt(id, attemptNumber)
+	if r == nil {
+		return false
+	}
+	if b.classOf(r).Idempotency == Idempotent {
+		return true
+	}
+	for i := range r.attempts {
+		if i != attemptNumber && r.attempts[i].mayHaveRun {
+			return false
+		}
+	}
+	return true
+}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -38,6 +38,35 @@
 	}
 }
 
+// Guards against a rejection that an endpoint gave to one attempt being forwarded to the client although another
+// attempt may have run.
+func TestRejectionIsForwardedOnlyIfNothingElseRan(t *testing.T) {
+	neverRan := map[Status]bool{Rejected: true, ConnectFailed: true, NotSent: true}
+	for class, settings := range testSettings().Classes {
+		for first := Error; first <= NotSent; first++ {
+			b, _ := startBalancer(t, testSettings(), readyEndpoints(4))
+			b.HandleRequest(1000, newTestRequest(1, uint8(class), 1000))
+			if !b.MayForwardRejection(1, 0) {
+				t.Errorf("class %s: a response to the only attempt may not be forwarded", settings.Name)
+			}
+			b.HandleOutcome(2000, Outcome{ID: 1, Status: first, Latency: 1000})
+			if b.requests[1] == nil {
+				continue // the status does not permit a second attempt
+			}
+			ofFirst, ofSecond := b.MayForwardRejection(1, 0), b.MayForwardRejection(1, 1)
+			idempotent := settings.Idempotency == Idempotent
+			if ofFirst != idempotent || ofSecond != (idempotent || neverRan[first]) {
+				t.Errorf("class %s, first attempt ended with status %v: first response %v, second response %v",
+					settings.Name, first, ofFirst, ofSecond)
+			}
+		}
+	}
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(1))
+	if b.MayForwardRejection(1, 0) {
+		t.Error("a response to an unknown request may be forwarded")
+	}
+}
+
 // The deduplication window of a request starts with its first attempt that may have run. After it there is no retry.
 func TestWindowCountsFromFirstThatMayHaveRun(t *testing.T) {
 	s := testSettings()
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -72,7 +72,7 @@
 			o.controller.OnRejected(act.now, int(c.Request.Class), true)
 		}
 	}
-	act.respond(c, Response{Verdict: Rejected, RetryAfter: retryAfter, Result: c.lastResult})
+	act.respond(c, Response{Verdict: Rejected, RetryAfter: retryAfter, Result: c.forwardableResult()})
 }
 
 // Fail responds to the client that its request failed.
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -19,8 +19,8 @@
 }
 
 // recordOutcome passes the outcome of an attempt to all parts of the pool that use it. The balancer gets it
-// last, since it may start the next attempt. The first successful response of an endpoint becomes the client's
-// final response. An outcome of an attempt that already has one is ignored.
+// last, since it may start the next attempt. The first successful attempt gives the request its final response.
+// An outcome of an attempt that already has one is ignored.
 func (eng *Engine) recordOutcome(now monotime.Micros, a *Attempt, r AttemptResult) {
 	if a.done {
 		return
@@ -33,10 +33,11 @@
 	c.lastTimedOut = r.Status == balancer.Timeout
 	if r.Response != nil {
 		c.lastResult = &r
+		c.lastResultAttempt = a.Number
 	}
 	if !c.finished && r.Status == balancer.OK {
 		c.Pool.observeServiceTime(now, c)
-		eng.respond(c, Response{Verdict: Served, Result: &r, Endpoint: a.Endpoint.Name})
+		eng.respondToSuccess(a, &r)
 	}
 	responded := c.finished
 	eng.removeFinished(c)
@@ -97,12 +98,28 @@
 	eng.recordOutcome(now, a, AttemptResult{Status: status, ObservedAt: now})
 }
 
-// startResponse makes a response that has started the client's final response, unless the request already has
-// one, and reports whether it did. The request no longer counts as in flight: only the transfer of the response
-// is left, which takes no processor time.
+// respondToSuccess gives a request its final response after a successful attempt: the endpoint's response, or a
+// failure if that response may not be forwarded.
+func (eng *Engine) respondToSuccess(a *Attempt, r *AttemptResult) {
+	if !mayForward(a.Call, a.Number, r) {
+		eng.respond(a.Call, Response{Verdict: Failed})
+		return
+	}
+	eng.respond(a.Call, Response{Verdict: Served, Result: r, Endpoint: a.Endpoint.Name})
+}
+
+// mayForward reports whether the response in the result of an attempt may be the final response of the call. A
+// response that promises that a retry is harmless would be untrue for the request if another attempt may have run.
+func mayForward(c *Call, attemptNumber int, r *AttemptResult) bool {
+	return !r.PromisesHarmlessRetry || c.Pool.balancer.MayForwardRejection(c.Request.ID, attemptNumber)
+}
+
+// startResponse makes a response that has started the client's final response, and reports whether it did. It does
+// not if the request already has a final response, or if this one may not be forwarded (mayForward). The request no
+// longer counts as in flight: only the transfer of the response is left, which takes no processor time.
 func (eng *Engine) startResponse(now monotime.Micros, a *Attempt, r AttemptResult) bool {
 	c := a.Call
-	if a.done || c.finished {
+	if a.done || c.finished || !mayForward(c, a.Number, &r) {
 		return false
 	}
 	eng.cancelTimer(a.deadlineTimer)
@@ -115,13 +132,23 @@
 	return true
 }
 
-// failRequest responds that a request failed or timed out, with the latest response that an endpoint gave.
+// failRequest responds that a request failed or timed out, with the latest response that an endpoint gave if that
+// may be forwarded.
 func (eng *Engine) failRequest(c *Call) {
 	verdict := Failed
 	if c.lastTimedOut {
 		verdict = TimedOut
 	}
-	eng.respond(c, Response{Verdict: verdict, Result: c.lastResult})
+	eng.respond(c, Response{Verdict: verdict, Result: c.forwardableResult()})
+}
+
+// forwardableResult returns the latest result that carries an endpoint's response, or nil if there is none or its
+// response may not be forwarded (mayForward).
+func (c *Call) forwardableResult() *AttemptResult {
+	if c.lastResult == nil || !mayForward(c, c.lastResultAttempt, c.lastResult) {
+		return nil
+	}
+	return c.lastResult
 }
 
 // respond gives a request its final response. No attempt of the request starts after it.
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -16,6 +16,9 @@
 
 	// Response is the endpoint's response in the host's representation. It may be nil if Status is not OK.
 	Response any
+	// PromisesHarmlessRetry is set if Response tells its client that a retry is harmless, as a rejection does. The
+	// endpoint knows of this attempt only, so other attempts decide whether the response may be forwarded.
+	PromisesHarmlessRetry bool
 }
 
 // Verdict is the result of a request as its client sees it.
@@ -37,7 +40,7 @@
 	RetryAfter monotime.Micros // with Rejected and RateLimited: delay before a retry; 0 is no advice
 	Reason     string          // with Rejected and RateLimited: human-readable reason; may be empty
 	// Result is the result that is served with Served. With other verdicts it is the latest result that carries
-	// an endpoint's response, or nil.
+	// an endpoint's response, or nil if there is none or that response may not be forwarded.
 	Result *AttemptResult
 
 	Attempts  int             // number of attempts started
@@ -65,6 +68,7 @@
 	finished            bool           // the request has its final response, or its client has disconnected
 	lastTimedOut        bool           // the latest outcome of an attempt was a timeout
 	lastResult          *AttemptResult // latest result that carried an endpoint's response; nil if none did
+	lastResultAttempt   int            // number of the attempt that lastResult belongs to
 }
 
 // Attempt is one sending of a request to an endpoint. The balancer gets exactly one outcome for each attempt,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -121,7 +121,8 @@
 // ResponseStarted reports that an endpoint has started a response that is too large to be buffered;
 // r.ObservedAt is the instant at which it started. If ResponseStarted returns true, this response is the
 // client's final response and the attempt has no deadline any more; the host reports its end to AttemptEnded.
-// If it returns false, the request already has a response, and the host drops this one.
+// If it returns false, the request already has a response or may not get this one (mayForward). The host drops it
+// and reports the end of the attempt.
 func (eng *Engine) ResponseStarted(now monotime.Micros, a *Attempt, r AttemptResult) bool {
 	eng.now = now
 	accepted := eng.startResponse(now, a, r)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -113,6 +113,7 @@
 	result.Status = policy.classify(response)
 	result.Load = e.takeLoadReport(response)
 	result.Response = response
+	result.PromisesHarmlessRetry = promisesHarmlessRetry(response)
 	result.SentAt = e.sentAt.Load()
 	body := http1msg.NewBody(e.conn.reader, response.Framing)
 	isReplaced := policy.ReplaceErrors && result.Status != balancer.OK
--- a/internal/upstream/policy.go
+++ b/internal/upstream/policy.go
@@ -29,9 +29,8 @@
 func (p *ResponsePolicy) classify(response *Response) balancer.Status {
 	code := min(response.StatusCode, len(p.FailureStatus)-1)
 	unavailable := code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
-	neverRan := unavailable && response.Header.Get(http1msg.FieldNeverRan) == "1"
 	switch {
-	case neverRan:
+	case unavailable && statesNeverRan(response):
 		return balancer.Rejected
 	case p.RejectedStatus[code] && response.Header.Get("Retry-After") != "":
 		if p.NonIdempotent {
@@ -43,3 +42,16 @@
 	}
 	return balancer.OK
 }
+
+// promisesHarmlessRetry reports whether a response tells its client that a retry is harmless: by the status 429 or
+// 503, or by the header field that states that the request never ran.
+func promisesHarmlessRetry(response *Response) bool {
+	return response.StatusCode == http.StatusTooManyRequests ||
+		response.StatusCode == http.StatusServiceUnavailable || statesNeverRan(response)
+}
+
+// statesNeverRan reports whether a response has the header field with which an endpoint states that it did not run
+// the request.
+func statesNeverRan(response *Response) bool {
+	return response.Header.Get(http1msg.FieldNeverRan) == "1"
+}
