Report a retry that gets no response before the deadline as timed out, not as failed

Callers saw: a request that was turned away or reset at one endpoint, and got no response from the next before its deadline, was answered 502 in place of 504, and stood in the access record as failed in place of late.

Cause: at the deadline the balancer's timer of the request, set with the first attempt, fires before the engine's timer of the retry. The request fails with the retry in flight, and the engine took the verdict from the latest outcome, which is the one of the attempt before. A first attempt is not affected, since its timers fire in the other order.

Change: a request that fails while an attempt is in flight has timed out. It works since the balancer gives up a request with an attempt in flight at its deadline only: HandleOutcome does so only when none is.

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -133,10 +133,11 @@
 }
 
 // failRequest responds that a request failed or timed out, with the latest response that an endpoint gave if that
-// may be forwarded.
+// may be forwarded. A request fails with an attempt in flight only at its deadline, where its timer may fire before
+// the one of the attempt.
 func (eng *Engine) failRequest(c *Call) {
 	verdict := Failed
-	if c.lastTimedOut {
+	if c.lastTimedOut || c.openAttempts > 0 {
 		verdict = TimedOut
 	}
 	eng.respond(c, Response{Verdict: verdict, Result: c.forwardableResult()})
--- a/internal/engine/finalresponse_test.go
+++ b/internal/engine/finalresponse_test.go
@@ -99,6 +99,14 @@
 		t.Errorf("%s: verdict %v, want %v since no attempt may have run", order, response.Verdict, Rejected)
 	}
 	last := ends[len(ends)-1]
+	wantFailure := Failed
+	if last.name == "timeout" || last.name == "deadline" {
+		wantFailure = TimedOut
+	}
+	failed := response.Verdict == Failed || response.Verdict == TimedOut
+	if failed && response.Verdict != wantFailure {
+		t.Errorf("%s: verdict %v, want %v", order, response.Verdict, wantFailure)
+	}
 	served := response.Verdict == Served && response.Result.Response == "success"
 	if strings.HasPrefix(last.name, "success") && !served {
 		t.Errorf("%s: %+v, want the successful response", order, response)
@@ -108,7 +116,8 @@
 	}
 }
 
-// Guards against a rejection that an endpoint gave to one attempt being the final response of a request of which
+// Guards against a request whose retry gets no response before the deadline being answered by the outcome of an earlier
+// attempt, and against a rejection that an endpoint gave to one attempt being the final response of a request of which
 // another attempt may have run: the client would retry it, and it would take effect twice. All orders are tried in
 // which the attempts of a request can end.
 func TestFinalResponseOfEveryOrderOfAttemptEnds(t *testing.T) {
--- a/internal/fake/attemptscript/attemptscript.go
+++ b/internal/fake/attemptscript/attemptscript.go
@@ -56,6 +56,7 @@
 	NonIdempotent = []Order{
 		{[]Response{NeverRan, Reset}, 502, 502},
 		{[]Response{NeverRan, NeverRan, Reset}, 502, 502},
+		{[]Response{NeverRan, Silent}, 504, 504},
 		{[]Response{NeverRanTimeout, Reset}, 502, 502},
 		{[]Response{NeverRan, NeverRan, NeverRan}, 503, 503},
 		{[]Response{NeverRan, Success}, 200, 200},
@@ -71,6 +72,8 @@
 		{[]Response{Reset, NeverRan, NeverRanStreamed}, 502, 502},
 		{[]Response{Reset, Unavailable, Reset}, 502, 502},
 		{[]Response{Error, Overloaded, Overloaded}, 502, 502},
+		{[]Response{NeverRan, Silent}, 504, 504},
+		{[]Response{Reset, Silent}, 504, 504},
 		{[]Response{Reset, Success}, 200, 200},
 		{[]Response{NeverRan, NeverRan, NeverRan}, 503, 503},
 	}
