Split the check of final responses into its promise and its verdict

Need: the linter finds the function too complex (gocognit). Change: the order is a type with the two checks as methods.

--- a/internal/engine/finalresponse_test.go
+++ b/internal/engine/finalresponse_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 
@@ -70,49 +69,76 @@
 	return now
 }
 
-// checkFinalResponse checks the final response of a request whose attempts ended in the given order. done is set if
-// there is one.
-func checkFinalResponse(t *testing.T, class balancer.Class, ends []attemptEnd, done bool, response *Response) {
-	t.Helper()
+// finalResponse is the final response of a request whose attempts ended in the given order.
+type finalResponse struct {
+	class    balancer.Class
+	ends     []attemptEnd
+	response Response
+}
+
+// String returns the class of the request and the names of the attempt ends.
+func (f *finalResponse) String() string {
 	var names []string
-	var ranEnds []string // names of the attempt ends after which the attempt may have run
-	for _, end := range ends {
+	for _, end := range f.ends {
 		names = append(names, end.name)
+	}
+	return f.class.Name + ": " + strings.Join(names, "; ")
+}
+
+// forwarded returns the name of the attempt end whose response was forwarded, or "" if none was.
+func (f *finalResponse) forwarded() string {
+	if f.response.Result == nil || f.response.Result.Response == nil {
+		return ""
+	}
+	return f.response.Result.Response.(string)
+}
+
+// ranEnds returns the names of the attempt ends after which the attempt may have run.
+func (f *finalResponse) ranEnds() (names []string) {
+	for _, end := range f.ends {
 		if end.mayHaveRun {
-			ranEnds = append(ranEnds, end.name)
+			names = append(names, end.name)
 		}
 	}
-	order := fmt.Sprintf("%s: %s", class.Name, strings.Join(names, "; "))
-	if !done {
-		t.Errorf("%s: no final response", order)
+	return names
+}
+
+// checkPromise checks that the response promises that a retry is harmless only if it is.
+func (f *finalResponse) checkPromise(t *testing.T) {
+	t.Helper()
+	promise := f.response.Verdict == Rejected
+	if f.forwarded() != "" {
+		promise = f.response.Result.PromisesHarmlessRetry
+	}
+	ran := f.ranEnds()
+	if !promise || f.class.Idempotency == balancer.Idempotent || len(ran) == 0 {
 		return
 	}
-	forwarded := response.Result != nil && response.Result.Response != nil
-	promise := response.Verdict == Rejected && !forwarded || forwarded && response.Result.PromisesHarmlessRetry
 	// An endpoint's own response, such as "unavailable", speaks for the attempt that got it.
-	onlyOwnAttemptRan := forwarded && len(ranEnds) == 1 &&
-		strings.HasPrefix(ranEnds[0], response.Result.Response.(string))
-	if promise && class.Idempotency != balancer.Idempotent && len(ranEnds) > 0 && !onlyOwnAttemptRan {
-		t.Errorf("%s: the response promises that a retry is harmless: %+v", order, response)
+	if f.forwarded() == "" || len(ran) > 1 || !strings.HasPrefix(ran[0], f.forwarded()) {
+		t.Errorf("%v: the response promises that a retry is harmless: %+v", f, f.response)
 	}
-	if len(ranEnds) == 0 && response.Verdict != Rejected && response.Verdict != Served {
-		t.Errorf("%s: verdict %v, want %v since no attempt may have run", order, response.Verdict, Rejected)
-	}
-	last := ends[len(ends)-1]
+}
+
+// checkVerdict checks the verdict, and that a success or a last rejection is forwarded.
+func (f *finalResponse) checkVerdict(t *testing.T) {
+	t.Helper()
+	last := f.ends[len(f.ends)-1]
+	verdict := f.response.Verdict
 	wantFailure := Failed
 	if last.name == "timeout" || last.name == "deadline" {
 		wantFailure = TimedOut
 	}
-	failed := response.Verdict == Failed || response.Verdict == TimedOut
-	if failed && response.Verdict != wantFailure {
-		t.Errorf("%s: verdict %v, want %v", order, response.Verdict, wantFailure)
-	}
-	served := response.Verdict == Served && response.Result.Response == "success"
-	if strings.HasPrefix(last.name, "success") && !served {
-		t.Errorf("%s: %+v, want the successful response", order, response)
-	}
-	if last.name == "rejection" && len(ranEnds) == 0 && (!forwarded || response.Result.Response != "rejection") {
-		t.Errorf("%s: %+v, want the endpoint's rejection", order, response)
+	noneRan := len(f.ranEnds()) == 0
+	switch {
+	case noneRan && verdict != Rejected && verdict != Served:
+		t.Errorf("%v: verdict %v, want %v since no attempt may have run", f, verdict, Rejected)
+	case (verdict == Failed || verdict == TimedOut) && verdict != wantFailure:
+		t.Errorf("%v: verdict %v, want %v", f, verdict, wantFailure)
+	case strings.HasPrefix(last.name, "success") && (verdict != Served || f.forwarded() != "success"):
+		t.Errorf("%v: %+v, want the successful response", f, f.response)
+	case last.name == "rejection" && noneRan && f.forwarded() != "rejection":
+		t.Errorf("%v: %+v, want the endpoint's rejection", f, f.response)
 	}
 }
 
@@ -148,7 +174,12 @@
 		response, done := h.responses["r"]
 		if done || len(h.started) == 0 {
 			orders++
-			checkFinalResponse(t, site.Settings.Classes[class], planned, done, &response)
+			if !done {
+				t.Errorf("no final response after %v", planned)
+			}
+			final := &finalResponse{site.Settings.Classes[class], planned, response}
+			final.checkPromise(t)
+			final.checkVerdict(t)
 			return
 		}
 		for _, end := range attemptEnds() {
