--- a/internal/upstream/buffered.go
+++ b/internal/upstream/buffered.go
@@ -168,13 +168,11 @@
 	if err != nil {
 		return result
 	}
-	code := response.statusCode
-	unavailable := code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
 	switch {
-	case code == http.StatusOK:
+	case response.statusCode == http.StatusOK:
 		result.Status = balancer.OK
 		result.Response = &response.BufferedResponse
-	case unavailable && response.Header.Get(http1msg.FieldNeverRan) == "1":
+	case provesNeverRan(response.statusCode, response.Header):
 		result.Status = balancer.Rejected
 	default:
 		result.Status = balancer.Error
--- a/internal/upstream/policy.go
+++ b/internal/upstream/policy.go
@@ -28,9 +28,8 @@
 // classify returns the status of an attempt that received a response.
 func (p *ResponsePolicy) classify(response *Response) balancer.Status {
 	code := min(response.StatusCode, len(p.FailureStatus)-1)
-	unavailable := code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
 	switch {
-	case unavailable && statesNeverRan(response):
+	case provesNeverRan(response.StatusCode, response.Header):
 		return balancer.Rejected
 	case p.RejectedStatus[code] && response.Header.Get("Retry-After") != "":
 		if p.NonIdempotent {
@@ -47,11 +46,16 @@
 // 503, or by the header field that states that the request never ran.
 func promisesHarmlessRetry(response *Response) bool {
 	return response.StatusCode == http.StatusTooManyRequests ||
-		response.StatusCode == http.StatusServiceUnavailable || statesNeverRan(response)
+		response.StatusCode == http.StatusServiceUnavailable || statesNeverRan(response.Header)
 }
 
-// statesNeverRan reports whether a response has the header field with which an endpoint states that it did not run
-// the request.
-func statesNeverRan(response *Response) bool {
-	return response.Header.Get(http1msg.FieldNeverRan) == "1"
+// provesNeverRan reports whether a response with the given status code and header proves that the request never ran
+// (page PROTOCOL, "Sidecars to endpoints").
+func provesNeverRan(statusCode int, header http.Header) bool {
+	unavailable := statusCode == http.StatusServiceUnavailable || statusCode == http.StatusGatewayTimeout
+	return unavailable && statesNeverRan(header)
 }
+
+// statesNeverRan reports whether a response's header has the field with which an endpoint states that it did not run
+// the request.
+func statesNeverRan(header http.Header) bool { return header.Get(http1msg.FieldNeverRan) == "1" }
