Joined histories: applications reject requests, and their rejections are held to the rule

Change: applications reject one request in eight with X-Never-Ran, once its body is complete, and each such response to a request that ran is a problem.

--- a/internal/daemon/history_test.go
+++ b/internal/daemon/history_test.go
@@ -39,6 +39,7 @@
 	class         string // "safe", "keyed" or "unsafe"
 	status        int
 	ownResponse   bool // the daemon generated the response, not an application
+	neverRan      bool // the response states that the request never ran
 	plannedStatus int  // the status that the application was asked to send
 	broken        bool // the response was incomplete, and the client noticed
 	plannedLength bool // the body had the length that the application was asked to send
@@ -75,6 +76,11 @@
 	}
 }
 
+// isRejection reports whether the response tells the client that a retry is safe.
+func (o *outcome) isRejection() bool {
+	return o.neverRan || o.ownResponse && (o.status == 503 || o.status == 429)
+}
+
 // problems compares outcomes with runs and effects, and describes each violation that it finds.
 func (h *history) problems() (found []string) {
 	h.mu.Lock()
@@ -84,8 +90,9 @@
 		n := h.runs[id]
 		switch {
 		case o.broken:
-		case o.ownResponse && (o.status == 503 || o.status == 429) && o.class != "safe" && n > 0:
+		case o.isRejection() && o.class != "safe" && n > 0:
 			problem("%s %s was rejected as safe to retry, but ran %d times", o.class, id, n)
+		case o.neverRan:
 		case !o.ownResponse && n == 0:
 			problem("%s %s got status %d, but no application ran it", o.class, id, o.status)
 		case !o.ownResponse && (o.status != o.plannedStatus || !o.plannedLength):
@@ -169,8 +176,8 @@
 	return r.rng.IntN(n) == 0
 }
 
-// runHistory has eight clients send requests through a daemon, while the applications reset connections, respond
-// with 4xx statuses, and stream bodies. It returns the recorded history. editHeader changes the headers of each
+// runHistory has eight clients send requests through a daemon, while the applications reset connections, reject
+// requests before they run, respond with 4xx statuses, and stream bodies. It returns the recorded history. editHeader changes the headers of each
 // request before the application handles it.
 func runHistory(t *testing.T, editHeader func(http.Header)) *history {
 	t.Helper()
@@ -186,6 +193,7 @@
 			}
 			return random.oneIn(12) // reset the connection after the request took effect
 		})
+		a.SetRejection(func(*http.Request) bool { return random.oneIn(8) })
 		pools[i/3] = append(pools[i/3], a)
 	}
 	d, addr := startRoutedDaemon(t, historyConfig, "DESK", quotedAddrs(pools[0]...), "FILES", quotedAddrs(pools[1]...))
@@ -221,6 +229,7 @@
 			resp.Body.Close()
 			o.status = resp.StatusCode
 			o.ownResponse = resp.Header.Get("Proxy-Status") != ""
+			o.neverRan = resp.Header.Get("X-Never-Ran") != ""
 			o.broken = err != nil
 			o.plannedLength = int(n) == plan.BodySize
 		}
@@ -286,7 +295,9 @@
 	byStatus := map[string]int{}
 	for _, o := range h.outcomes {
 		sender := "application"
-		if o.ownResponse {
+		if o.neverRan {
+			sender = "rejection"
+		} else if o.ownResponse {
 			sender = "own"
 		}
 		byStatus[fmt.Sprint(sender, " ", o.status)]++
--- a/internal/fake/webapp/app.go
+++ b/internal/fake/webapp/app.go
@@ -23,6 +23,7 @@
 	requestCount atomic.Int64
 	forcedStatus atomic.Int32 // the status of all responses; 0 leaves it to the plans
 	fault        atomic.Pointer[func(r *http.Request) bool]
+	rejection    atomic.Pointer[func(r *http.Request) bool]
 }
 
 // Start starts an application on a free loopback port. onRequest is its OnRequest and may be nil.
@@ -49,5 +50,9 @@
 // SetFault resets the connection of each request for which f returns true, after the request has run.
 func (a *App) SetFault(f func(r *http.Request) bool) { a.fault.Store(&f) }
 
+// SetRejection rejects each request for which f returns true: once its body is complete, it is responded to with status
+// 503 and the statement that it never ran, and does not run.
+func (a *App) SetRejection(f func(r *http.Request) bool) { a.rejection.Store(&f) }
+
 // RequestCount returns how many requests have arrived.
 func (a *App) RequestCount() int64 { return a.requestCount.Load() }
--- a/internal/fake/webapp/serve.go
+++ b/internal/fake/webapp/serve.go
@@ -20,6 +20,14 @@
 		http.Error(w, err.Error(), http.StatusTeapot)
 		return
 	}
+	if rejects := a.rejection.Load(); rejects != nil && (*rejects)(r) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	id := r.Header.Get("X-Id")
 	if !plan.BeforeBody {
 		if !a.readBody(w, r, id) {
