--- a/internal/daemon/history_test.go
+++ b/internal/daemon/history_test.go
@@ -177,8 +177,8 @@
 }
 
 // runHistory has eight clients send requests through a daemon, while the applications reset connections, reject
-// requests before they run, respond with 4xx statuses, and stream bodies. It returns the recorded history. editHeader changes the headers of each
-// request before the application handles it.
+// requests before they run, respond with 4xx statuses, and stream bodies. It returns the recorded history.
+// editHeader changes the headers of each request before the application handles it.
 func runHistory(t *testing.T, editHeader func(http.Header)) *history {
 	t.Helper()
 	h := newHistory()
