An upload whose time is over before its first write is a timeout, not a failed connection

What callers saw: an upload with 5 ms or less got 503 now and then where 504 is due, and its endpoint was charged with a failed connection. One whose first bytes the endpoint's connection does not take got 502.

Cause: the responseTimer ends an attempt by closing its connection, and an error of the first write was read as the endpoint's: errUnusable as ConnectFailed, a partial write as Reset. Only the reading side asked whether the timer had expired.

Change: a write that fails once the timer has expired is a Timeout. It works since the timer marks itself expired before it closes.

--- a/internal/sidecar/uploads_test.go
+++ b/internal/sidecar/uploads_test.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// Guards against an upload that is answered as failed, or as rejected, because its time is over before its first bytes
+// are written to the endpoint.
+func TestUploadToEndpointThatTakesNothing(t *testing.T) {
+	t.Parallel()
+	s := startDialing(t, configureStatic(t, instances("127.0.0.1:1"), slowMachine...),
+		func(context.Context, string, string) (net.Conn, error) {
+			conn, _ := net.Pipe() // a write waits until the other end reads
+			return conn, nil
+		})
+	uploadscript.Upload{Size: 100_000}.Send(s.dial(t)).CheckTimedOut(t)
+}
+
 // Guards against an upload that gets no final response in its time, because connecting to its endpoint takes longer.
 func TestUploadToEndpointThatCannotBeReached(t *testing.T) {
 	t.Parallel()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -159,6 +159,8 @@
 	e.conn.SetDeadline(time.Time{})
 	n, err := e.conn.inspectAndWrite(firstPiece)
 	switch {
+	case err != nil && e.responseTimer.hasExpired():
+		return balancer.Timeout // the timer has closed the connection, not the endpoint
 	case errors.Is(err, errUnusable), err != nil && n < len(firstPiece) && stream == nil:
 		return balancer.ConnectFailed // its last byte was not written, so the endpoint did not run it
 	case err != nil:
