Infer the end of a chunked upload from what its client writes, not from what arrives

What callers saw: a chunked upload of 6 to 12 MB to a slow endpoint got its 504 up to 7.9 s after its last byte (1.15 s allowed). A client that sent a chunked body at 64 kB a second got 504 while it was still sending, in a queue, or at an endpoint that paused or was slower than it.

Cause: the end of such a body is known only once it is read. Until then, bytes that left the client's send buffer, or that the endpoint took, were taken for a client that writes, and none for one that has ended.

Change: sock_diag also tells how many bytes the client has written and how full its send buffer is (sockqueue.Peer). A client is writing if the number grew, if it may be blocked, or if what has arrived does not end as a chunked body does; else its time counts from its last write.

Why it works: each of the three is something that a client which has ended does not show, but for the second, which ends once a third is free.

Test cases were added to TestChunkedUploadToSlowEndpoint, none taken.

--- a/internal/daemon/uploads_test.go
+++ b/internal/daemon/uploads_test.go
@@ -156,6 +156,16 @@
 	uploadscript.Upload{Size: 6_000_000}.Send(dial(t, "tcp", addr)).CheckServed(t)
 }
 
+// Guards against a chunked upload that gets no final response in its time, because its endpoint takes the body slowly
+// while the last chunk is in the buffer of the client's kernel.
+func TestChunkedUploadToSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	addr, _ := startUploadClasses(t, uploadscript.StartSlowEndpoint(t, 64_000, 100*time.Millisecond))
+	result := uploadscript.Upload{Size: 6_000_000, Chunked: true}.Send(dial(t, "tcp", addr))
+	result.CheckTimedOut(t)
+	result.CheckNotCutOff(t)
+}
+
 // Edits of a daemon's configuration that admit one request at a time and give late responses weight.
 var (
 	queueOfClasses = []string{"in_flight = 64", "in_flight = 1", "worth = 5.0", "worth = 5.0\nlate_worth = 0.5"}
@@ -236,3 +246,26 @@
 		upload.SendSlowly(dial(t, "tcp", addr), first, pieceSize, interval, leaveQueue).CheckServed(t)
 	})
 }
+
+// Guards against a chunked upload that is rejected while it waits in the queue, although its client is still sending it
+// at 64 kB a second: in small pieces while the receive window is closed, or in complete chunks that arrive.
+func TestSlowChunkedUploadInQueue(t *testing.T) {
+	for name, sent := range map[string]struct {
+		firstChunks, chunks int
+		pieceSize           int
+		interval            time.Duration
+	}{
+		"small pieces":    {12, 3, 20_000, 300 * time.Millisecond},
+		"complete chunks": {3, 2, uploadscript.ChunkLength, 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachQueue(t, func(t *testing.T, addr string, received <-chan struct{}) {
+				t.Helper()
+				leaveQueue := occupyQueue(t, addr, received)
+				size := (sent.firstChunks + sent.chunks) * uploadscript.ChunkSize
+				uploadscript.Upload{Size: size, Chunked: true}.SendSlowly(dial(t, "tcp", addr),
+					sent.firstChunks*uploadscript.ChunkLength, sent.pieceSize, sent.interval, leaveQueue).CheckServed(t)
+			})
+		})
+	}
+}
--- a/internal/decide/upload/upload.go
+++ b/internal/decide/upload/upload.go
@@ -3,6 +3,8 @@
 // A request's time counts from its last byte (page PROTOCOL). While an endpoint takes no more of the body, the load
 // balancer reads no more of it, and the last byte may lie in a buffer of a kernel: in the receive buffer of the load
 // balancer, where it can be observed, or in the client's send buffer, which only the kernel of the same host tells.
+//
+// The end of a chunked body is known only once it is read. Until then it is inferred from what the client writes.
 package upload
 
 import "dunlinsail/internal/monotime"
@@ -24,9 +26,10 @@
 	Read   int64 // bytes that this process has read
 	Unread int64 // further bytes that have arrived; Unknown if it cannot be told
 	Window int64 // receive window of the connection in bytes; Unknown if it cannot be told
-	// Unsent is the number of bytes in the client's send buffer; Unknown if it cannot be told. Bytes that have just
-	// arrived may count twice.
-	Unsent int64
+	ClientSocket
+	// IsIncomplete is set if all bytes that the client has written have arrived, and are known not to end with the
+	// last chunk.
+	IsIncomplete bool
 }
 
 // arrived returns how many bytes have arrived, as far as that is known.
@@ -49,18 +52,29 @@
 	written   bool            // the client has written the last byte, as far as is known
 	writtenAt monotime.Micros // when that was known first
 	complete  bool            // written will not change
+	writer    chunkWriter     // of a chunked body
+	writingAt monotime.Micros // when the client was last known to be writing
 	activeAt  monotime.Micros // when the client was last known to be writing, or the endpoint to be taking bytes
 }
 
 // NewTracker returns a tracker for a body of length bytes, or of Unknown.
 func NewTracker(length int64) *Tracker { return &Tracker{length: length} }
 
-// NeedsUnsent reports whether Arrival.Unsent is of use in an observation: whether the rest of the body that has not
-// arrived may be in the client's send buffer.
-func (t *Tracker) NeedsUnsent(a Arrival) bool {
+// NeedsSocket reports whether Arrival.ClientSocket is of use in an observation: in chunks, as long as the body is not
+// complete; otherwise if the rest of the body that has not arrived may be in the client's send buffer.
+func (t *Tracker) NeedsSocket(a Arrival) bool {
+	if t.length < 0 {
+		return !t.complete
+	}
 	missing := t.length - a.arrived()
 	mayBeUnsent := missing > 0 && missing <= maxSendBuffer && (a.Unread != 0 || t.written)
-	return t.length >= 0 && !t.complete && mayBeUnsent
+	return !t.complete && mayBeUnsent
+}
+
+// NeedsEnd reports whether Arrival.IsIncomplete is of use in an observation: whether the client has written nothing
+// since the last one, and all that it has written has arrived.
+func (t *Tracker) NeedsEnd(a Arrival) bool {
+	return t.length < 0 && !t.complete && a.Unsent == 0 && a.Written == t.last.Written
 }
 
 // Observe records an observation made at the instant now.
@@ -70,14 +84,18 @@
 	t.last = o
 	t.observed = true
 	delivering := o.Forwarded != previous.Forwarded || o.Unacknowledged != previous.Unacknowledged
+	t.writer.observe(o.ClientSocket)
 	switch {
 	case t.complete:
 	case t.length >= 0 && o.arrived() >= t.length:
 		t.Complete(now)
+	case t.length < 0 && t.isIdleWriter(o):
+		t.setWritten(t.writingAt)
 	case t.isWritten(o.Arrival):
 		t.setWritten(now)
 	case t.mustBeWriting(previous, o):
 		t.written = false
+		t.writingAt = now
 		t.activeAt = now
 	}
 	if isFirst || delivering {
@@ -93,15 +111,23 @@
 	t.complete = true
 }
 
-// setWritten records that the client has written the last byte, as is known at the instant now.
-func (t *Tracker) setWritten(now monotime.Micros) {
+// setWritten records that the client has written the last byte by the instant at.
+func (t *Tracker) setWritten(at monotime.Micros) {
 	if !t.written {
 		t.written = true
-		t.writtenAt = now
-		t.activeAt = max(t.activeAt, now)
+		t.writtenAt = at
+		t.activeAt = max(t.activeAt, at)
 	}
 }
 
+// isIdleWriter reports whether the client of a chunked body writes nothing although it could, and may have written the
+// last chunk. The end of such a body is known only once it is read: until then, the client is taken to have written
+// it.
+func (t *Tracker) isIdleWriter(o Observation) bool {
+	allIsRead := o.AwaitsClient && o.Unread <= 0 // without a last chunk among it
+	return t.writer.isIdle && !allIsRead && !o.IsIncomplete
+}
+
 // isWritten reports whether the client is known to have written the last byte.
 func (t *Tracker) isWritten(a Arrival) bool {
 	return t.length >= 0 && a.Unsent != Unknown && a.arrived()+a.Unsent >= t.length
@@ -116,7 +142,7 @@
 	case o.AwaitsClient, o.arrived() > previous.arrived():
 		return true
 	case !knownLength:
-		return false // the last chunk may be among the bytes that have arrived
+		return o.Written != Unknown // else the last chunk may be among the bytes that have arrived
 	}
 	return o.Unsent != Unknown || o.Unread == 0 || o.Window >= minOpenWindow || t.length-o.arrived() > maxSendBuffer
 }
--- a/internal/fake/uploadscript/uploadscript.go
+++ b/internal/fake/uploadscript/uploadscript.go
@@ -205,6 +205,12 @@
 		lastRequestID.Add(1), cmp.Or(u.Timeout, ClientTimeout).Milliseconds(), framing)
 }
 
+// Length in bytes of a chunk of a chunked body, without and with its framing.
+const (
+	ChunkSize   = 32_000
+	ChunkLength = len("7d00\r\n") + ChunkSize + len("\r\n")
+)
+
 // Body returns the body of the request in the form in which it is sent.
 func (u Upload) Body() []byte {
 	content := bytes.Repeat([]byte("x"), u.Size)
@@ -212,9 +218,8 @@
 		return content
 	}
 	var body []byte
-	const chunkSize = 32_000
 	for len(content) > 0 {
-		n := min(chunkSize, len(content))
+		n := min(ChunkSize, len(content))
 		body = http1msg.AppendChunkHeader(body, n)
 		body = append(body, content[:n]...)
 		body = append(body, "\r\n"...)
@@ -225,17 +230,19 @@
 
 // Result is the response to an Upload as its client sees it.
 type Result struct {
-	Status  int           // 0 if no head of a response came
-	Err     error         // why the response is not complete
-	Elapsed time.Duration // from the last byte of the request to the end of the response
+	WriteErr error         // why the request has not been written to its last byte
+	Status   int           // 0 if no head of a response came
+	Err      error         // why the response is not complete
+	Elapsed  time.Duration // from the last byte of the request to the end of the response
 }
 
 // Send sends the request at once on a connection and reads its response.
 func (u Upload) Send(conn net.Conn) Result {
-	// A write that fails because the response has come is no error: the response is read in any case.
 	_ = conn.SetWriteDeadline(time.Now().Add(scriptedpeer.WaitTimeout))
-	_, _ = conn.Write(append([]byte(u.Head()), u.Body()...))
-	return AwaitResponse(conn, time.Now())
+	_, err := conn.Write(append([]byte(u.Head()), u.Body()...))
+	result := AwaitResponse(conn, time.Now()) // after a failed write, too: the response may have come
+	result.WriteErr = err
+	return result
 }
 
 // SendSlowly sends the first bytes of a request's body at once, and the rest in pieces of pieceSize bytes, one in each
@@ -251,7 +258,9 @@
 		_, err = conn.Write(body[:min(pieceSize, len(body))])
 	}
 	written()
-	return AwaitResponse(conn, time.Now())
+	result := AwaitResponse(conn, time.Now())
+	result.WriteErr = err
+	return result
 }
 
 // AwaitResponse reads the response to a request whose last byte was written at sentAt.
@@ -278,6 +287,15 @@
 	}
 }
 
+// CheckNotCutOff checks that the client has written the request to its last byte, and got no response right after it.
+func (r Result) CheckNotCutOff(t testing.TB) {
+	t.Helper()
+	if r.WriteErr != nil || r.Elapsed < ClientTimeout/2 {
+		t.Errorf("status %d %v after the last byte, write error %v; want a response to the complete request", r.Status,
+			r.Elapsed, r.WriteErr)
+	}
+}
+
 // CheckServed checks that the client has got a complete response with the status 200.
 func (r Result) CheckServed(t testing.TB) {
 	t.Helper()
--- a/internal/frontend/http1/peekable.go
+++ b/internal/frontend/http1/peekable.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -11,6 +12,9 @@
 	"dunlinsail/internal/sockqueue"
 )
 
+// lastReadBytes is how many of the bytes that have been read last are kept.
+const lastReadBytes = 4
+
 // peekableConn reads from a connection, and can report at any time whether bytes have arrived that its caller has
 // not examined. The bytes may still be in the kernel or may have been read. Closing a connection with such bytes
 // may lose a complete request.
@@ -19,8 +23,9 @@
 	fallbackReader io.Reader       // the connection itself, which is read if rawConn is nil
 
 	mu         sync.Mutex
-	unexamined bool  // the bytes of the last read may be a complete request
-	readTotal  int64 // bytes that have been read
+	unexamined bool                // the bytes of the last read may be a complete request
+	readTotal  int64               // bytes that have been read
+	lastRead   [lastReadBytes]byte // the last of them; the first ones are 0 if fewer have been read
 
 	// Arguments and results of the current read. The callback is created once, because creating it for each read
 	// would allocate.
@@ -47,7 +52,9 @@
 	if p.rawConn == nil {
 		p.setUnexamined(false)
 		n, err := p.fallbackReader.Read(b)
-		p.countRead(n)
+		p.mu.Lock()
+		p.recordReadLocked(b[:n])
+		p.mu.Unlock()
 		return n, err
 	}
 	if len(b) == 0 {
@@ -78,10 +85,7 @@
 			break
 		}
 	}
-	p.unexamined = p.readErr == nil && p.readCount > 0
-	if p.unexamined {
-		p.readTotal += int64(p.readCount)
-	}
+	p.recordReadLocked(p.readBuffer[:max(0, p.readCount)]) // the count is negative after an error
 	return !errors.Is(p.readErr, syscall.EAGAIN)
 }
 
@@ -109,27 +113,37 @@
 	p.mu.Unlock()
 }
 
-// countRead records the result of a read from fallbackReader.
-func (p *peekableConn) countRead(n int) {
-	p.mu.Lock()
-	p.unexamined = n > 0
-	p.readTotal += int64(n)
-	p.mu.Unlock()
+// recordReadLocked records the bytes of a read.
+func (p *peekableConn) recordReadLocked(b []byte) {
+	p.unexamined = len(b) > 0
+	p.readTotal += int64(len(b))
+	last := b[max(0, len(b)-lastReadBytes):]
+	kept := copy(p.lastRead[:], p.lastRead[len(last):])
+	copy(p.lastRead[kept:], last)
 }
 
 // arrival returns how many bytes have been read from the connection, and how many more have arrived or may arrive.
-// It leaves open what the client has not sent yet.
+// It leaves open what the kernel tells of the client's socket.
 func (p *peekableConn) arrival() upload.Arrival {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return upload.Arrival{
-		Read:   p.readTotal,
-		Unread: sockqueue.Unread(p.rawConn),
-		Window: sockqueue.Window(p.rawConn),
-		Unsent: upload.Unknown,
+		Read:         p.readTotal,
+		Unread:       sockqueue.Unread(p.rawConn),
+		Window:       sockqueue.Window(p.rawConn),
+		ClientSocket: upload.UnknownSocket,
 	}
 }
 
+// mayEndWith reports whether the bytes that have arrived, read or not, may end with suffix. suffix has up to
+// lastReadBytes bytes.
+func (p *peekableConn) mayEndWith(suffix string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unread, known := sockqueue.UnreadTail(p.rawConn, len(suffix))
+	return !known || strings.HasSuffix(string(p.lastRead[:])+string(unread), suffix)
+}
+
 // allBytesExamined reports whether the caller has examined all bytes that have arrived. The end of the connection
 // does not count as a byte.
 func (p *peekableConn) allBytesExamined() bool {
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -9,9 +9,7 @@
 	"strings"
 	"time"
 
-	"dunlinsail/internal/decide/upload"
 	"dunlinsail/internal/http1msg"
-	"dunlinsail/internal/sockqueue"
 	"dunlinsail/internal/upstream"
 )
 
@@ -149,23 +147,11 @@
 	interruptRead := func() { c.SetReadDeadline(expiredDeadline) }
 	out.Stream = upstream.NewRequestStream(body, length, extendReadDeadline, interruptRead)
 	out.Stream.MaxBytes = maxBytes
-	out.Stream.Arrival = c.bodyArrival()
-	out.Stream.Unsent = func() int64 { return sockqueue.PeerUnacknowledged(c.Conn) }
+	out.Stream.Client = newBodyClient(c)
 	out.Stream.ObserveArrival(x.server.options.Clock.Now())
 	return nil
 }
 
-// bodyArrival returns a function that tells how much of a request's body has come from the client. Of a body of known
-// length nothing must have been consumed yet.
-func (c *conn) bodyArrival() func() upload.Arrival {
-	readBefore := c.input.arrival().Read - int64(c.buffer.Buffered())
-	return func() upload.Arrival {
-		arrival := c.input.arrival()
-		arrival.Read -= readBefore
-		return arrival
-	}
-}
-
 // initialBodyBuffer is the initial size in bytes of the buffer for a body of unknown length.
 const initialBodyBuffer = 4 << 10
 
--- a/internal/sidecar/uploads_test.go
+++ b/internal/sidecar/uploads_test.go
@@ -72,6 +72,49 @@
 	upload.SendSlowly(s.dial(t), readBeforePause, pieceSize, interval, func() { close(resume) }).CheckServed(t)
 }
 
+// sendChunksSlowly sends a chunked body in complete chunks: the first ones at once, the others at 64 kB a second with
+// pauses longer than the client's timeout. It then calls written, and returns the response.
+func sendChunksSlowly(conn net.Conn, first, others int, written func()) uploadscript.Result {
+	const chunksInPiece = 2
+	const interval = time.Second
+	upload := uploadscript.Upload{Size: (first + others) * uploadscript.ChunkSize, Chunked: true}
+	const pieceSize = chunksInPiece * uploadscript.ChunkLength
+	return upload.SendSlowly(conn, first*uploadscript.ChunkLength, pieceSize, interval, written)
+}
+
+// Guards against a chunked upload that is cut off although its client is still sending, while the endpoint pauses and
+// chunks remain unread.
+func TestSlowChunkedClientOfPausedEndpoint(t *testing.T) {
+	t.Parallel()
+	resume := make(chan struct{})
+	endpoint := uploadscript.StartPausedEndpoint(t, 900_000, resume)
+	s := startDialing(t, configureStatic(t, instances(endpoint), slowMachine...), dialWithSmallBuffer)
+	sendChunksSlowly(s.dial(t), 31, 8, func() { close(resume) }).CheckServed(t)
+}
+
+// checkSlowChunkedClient checks that a client is not cut off that sends chunks slowly, the first ones at once, while
+// the endpoint takes the body more slowly than the client sends it.
+func checkSlowChunkedClient(t *testing.T, first int) {
+	t.Helper()
+	endpoint := uploadscript.StartSlowEndpoint(t, 25_000, 400*time.Millisecond)
+	s := startDialing(t, configureStatic(t, instances(endpoint), slowMachine...), dialWithSmallBuffer)
+	sendChunksSlowly(s.dial(t), first, 8, func() {}).CheckNotCutOff(t)
+}
+
+// Guards against a chunked upload that is cut off although its client is still sending, while the endpoint takes the
+// body more slowly than the client sends it. What the client has sent fits into the receive window.
+func TestSlowChunkedClientOfSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	checkSlowChunkedClient(t, 9)
+}
+
+// Guards against a chunked upload that is cut off as in TestSlowChunkedClientOfSlowEndpoint, where the client has sent
+// more than the receive window.
+func TestSlowChunkedClientAheadOfSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	checkSlowChunkedClient(t, 14)
+}
+
 // Guards against an upload that is cut off because its endpoint pauses for longer than the client's timeout, although
 // the client cannot have sent its last byte.
 func TestPauseInTheMiddleOfAnUpload(t *testing.T) {
@@ -119,26 +162,64 @@
 	uploadscript.Upload{Size: 100_000}.Send(s.dial(t)).CheckTimedOut(t)
 }
 
-// Guards against an upload that gets no final response in its time, because its endpoint takes the body slowly while
-// the client's last bytes are in the buffer of the client's kernel.
-func TestUploadToSlowEndpoint(t *testing.T) {
-	for _, interval := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond} {
-		for _, size := range []int{3_000_000, 6_000_000, 8_000_000} {
+// forEachSlowEndpoint runs a subtest for each size and each speed of an endpoint. The subtest gets a sidecar in front
+// of that endpoint, which takes 64 kB in each interval.
+func forEachSlowEndpoint(t *testing.T, sizes []int, intervals []time.Duration,
+	test func(t *testing.T, s *testSidecar, size int)) {
+	t.Helper()
+	for _, interval := range intervals {
+		for _, size := range sizes {
 			t.Run(fmt.Sprint(size/1000, " kB, ", interval), func(t *testing.T) {
 				t.Parallel()
-				s := start(t, configureStatic(t, instances(uploadscript.StartSlowEndpoint(t, 64_000, interval)),
-					slowMachine...))
-				uploadscript.Upload{Size: size}.Send(s.dial(t)).CheckTimedOut(t)
+				endpoint := uploadscript.StartSlowEndpoint(t, 64_000, interval)
+				test(t, start(t, configureStatic(t, instances(endpoint), slowMachine...)), size)
 			})
 		}
 	}
 }
 
+var slowIntervals = []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+// Guards against an upload that gets no final response in its time, because its endpoint takes the body slowly while
+// the client's last bytes are in the buffer of the client's kernel.
+func TestUploadToSlowEndpoint(t *testing.T) {
+	sizes := []int{3_000_000, 6_000_000, 8_000_000}
+	forEachSlowEndpoint(t, sizes, slowIntervals, func(t *testing.T, s *testSidecar, size int) {
+		t.Helper()
+		uploadscript.Upload{Size: size}.Send(s.dial(t)).CheckTimedOut(t)
+	})
+}
+
 // Guards against a chunked upload that gets no final response in its time, because its endpoint takes the body slowly
 // while the last chunk is in the buffer of the client's kernel.
 func TestChunkedUploadToSlowEndpoint(t *testing.T) {
-	t.Parallel()
-	s := start(t, configureStatic(t, instances(uploadscript.StartSlowEndpoint(t, 64_000, 100*time.Millisecond)),
-		slowMachine...))
-	uploadscript.Upload{Size: 6_000_000, Chunked: true}.Send(s.dial(t)).CheckTimedOut(t)
+	forEachSlowEndpoint(t, []int{3_000_000, 6_000_000}, slowIntervals, func(t *testing.T, s *testSidecar, size int) {
+		t.Helper()
+		result := uploadscript.Upload{Size: size, Chunked: true}.Send(s.dial(t))
+		result.CheckTimedOut(t)
+		result.CheckNotCutOff(t)
+	})
+}
+
+// A chunked upload that is larger than the buffers of the kernel, so that a slow endpoint blocks its client's writes.
+const blockedUpload = 12_000_000
+
+// Guards against a chunked upload that is cut off although its client is still sending: its write is blocked, since its
+// endpoint takes the body slowly.
+func TestBlockedClientOfSlowEndpoint(t *testing.T) {
+	intervals := []time.Duration{20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond}
+	forEachSlowEndpoint(t, []int{blockedUpload}, intervals, func(t *testing.T, s *testSidecar, size int) {
+		t.Helper()
+		uploadscript.Upload{Size: size, Chunked: true}.Send(s.dial(t)).CheckNotCutOff(t)
+	})
+}
+
+// Guards against a chunked upload that gets no final response in its time, as in TestChunkedUploadToSlowEndpoint, where
+// the client's last write may have filled its send buffer.
+func TestLargeChunkedUploadToSlowEndpoint(t *testing.T) {
+	intervals := []time.Duration{50 * time.Millisecond, 100 * time.Millisecond}
+	forEachSlowEndpoint(t, []int{8_000_000, blockedUpload}, intervals, func(t *testing.T, s *testSidecar, size int) {
+		t.Helper()
+		uploadscript.Upload{Size: size, Chunked: true}.Send(s.dial(t)).CheckTimedOut(t)
+	})
 }
--- a/internal/sockqueue/sockqueue_test.go
+++ b/internal/sockqueue/sockqueue_test.go
@@ -75,7 +75,7 @@
 }
 
 // What the peer has written is in the queue of the receiver or in that of the peer, and nowhere else.
-func TestPeerUnacknowledged(t *testing.T) {
+func TestPeer(t *testing.T) {
 	for name, listener := range map[string]struct{ network, address string }{
 		"IPv4":                   {"tcp4", "127.0.0.1:0"},
 		"IPv4 on an IPv6 socket": {"tcp", "[::]:0"},
@@ -88,15 +88,54 @@
 			_, err = client.Write(make([]byte, written))
 			require.NoError(t, err)
 			scriptedpeer.Eventually(t, "all bytes are found", func() bool {
-				return Unread(raw)+PeerUnacknowledged(server) == written
+				return Unread(raw)+Peer(server).Unacknowledged == written
 			})
+			if n := Peer(server).Written; n != written {
+				t.Errorf("%d bytes written, want %d", n, written)
+			}
 			_, err = io.CopyN(io.Discard, server, written)
 			require.NoError(t, err)
-			scriptedpeer.Eventually(t, "all bytes are read", func() bool { return PeerUnacknowledged(server) == 0 })
+			scriptedpeer.Eventually(t, "all bytes are read", func() bool { return Peer(server).Unacknowledged == 0 })
+			if n := Peer(server).Written; n != written {
+				t.Errorf("%d bytes written once they are read, want %d", n, written)
+			}
 		})
 	}
 }
 
+// A peer that waits for space in its send buffer has filled that buffer.
+func TestSendBufferOfBlockedPeer(t *testing.T) {
+	sender, receiver := connect(t)
+	go func() { _, _ = sender.Write(make([]byte, 32<<20)) }() // until the connection is closed
+	scriptedpeer.Eventually(t, "the send buffer is full", func() bool {
+		peer := Peer(receiver)
+		return peer.SendBuffer > 0 && peer.SendBufferUsed >= peer.SendBuffer
+	})
+}
+
+// The last bytes that have arrived are found without being read.
+func TestUnreadTail(t *testing.T) {
+	const text = "first bytes, last bytes"
+	sender, receiver := connect(t)
+	raw, err := receiver.SyscallConn()
+	require.NoError(t, err)
+	if tail, known := UnreadTail(raw, 4); len(tail) > 0 || !known {
+		t.Errorf("tail %q of an empty queue, %v", tail, known)
+	}
+	_, err = io.WriteString(sender, text)
+	require.NoError(t, err)
+	scriptedpeer.Eventually(t, "the bytes arrive", func() bool { return Unread(raw) == int64(len(text)) })
+	for n, want := range map[int]string{4: "ytes", 100: text} {
+		if tail, known := UnreadTail(raw, n); string(tail) != want || !known {
+			t.Errorf("tail of %d bytes: %q, %v", n, tail, known)
+		}
+	}
+	receiver.Close()
+	if _, known := UnreadTail(raw, 4); known {
+		t.Error("the tail of a closed socket's queue is known")
+	}
+}
+
 // addressedConn is a connection with other addresses than it has.
 type addressedConn struct {
 	net.Conn
@@ -118,8 +157,8 @@
 		"no peer":        addressedConn{server, local, nil},
 		"unix":           unixClient,
 	} {
-		if n := PeerUnacknowledged(conn); n != Unknown {
-			t.Errorf("%s: %d", name, n)
+		if peer := Peer(conn); peer != unknownPeer {
+			t.Errorf("%s: %+v", name, peer)
 		}
 	}
 }
--- a/internal/upstream/requeststream.go
+++ b/internal/upstream/requeststream.go
@@ -24,6 +24,23 @@
 	withheld                   // no attempt
 )
 
+// BodyClient tells how much of a body has come from the client. Its methods do not wait.
+type BodyClient interface {
+	// Arrival returns how much of the body has come, including bytes that RequestStream.Body has not returned yet. It
+	// leaves open what the other methods tell.
+	Arrival() upload.Arrival
+	// Socket returns what the kernel tells of the client's end of the connection.
+	Socket() upload.ClientSocket
+	// MayEnd reports whether the bytes that have come may end with the last chunk of a body.
+	MayEnd() bool
+}
+
+// bodyEnd is the last result of BodyClient.MayEnd.
+type bodyEnd struct {
+	written int64 // upload.ClientSocket.Written of the bytes that were examined
+	mayEnd  bool
+}
+
 // RequestStream is a request body that is forwarded while it arrives. The first attempt that claims the body
 // owns it permanently, since the body cannot be sent a second time.
 type RequestStream struct {
@@ -33,12 +50,8 @@
 	// BeforeRead is called before each read of Body, and sets the read deadline.
 	BeforeRead func()
 	// Abort interrupts a read of Body that waits for the client.
-	Abort func()
-	// Arrival returns how much of the body has come from the client, including bytes that Body has not returned yet.
-	// It may be nil.
-	Arrival func() upload.Arrival
-	// Unsent returns upload.Arrival.Unsent. It is called if that is of use, and must be set if Arrival is.
-	Unsent func() int64
+	Abort  func()
+	Client BodyClient // may be nil
 
 	awaitsClient atomic.Bool  // a read of Body is pending
 	received     atomic.Int64 // bytes that have been read from Body
@@ -46,7 +59,8 @@
 
 	mu            sync.Mutex
 	tracker       *upload.Tracker
-	unsentUnknown bool // Unsent has returned upload.Unknown, and is not called again
+	socketUnknown bool // Client.Socket has returned upload.UnknownSocket, and is not called again
+	end           bodyEnd
 
 	owner   atomic.Int32  // bodyOwner
 	aborted atomic.Bool   // set by finish when the rest of the body is not needed
@@ -114,21 +128,34 @@
 
 // arrivalLocked returns how much of the body has come from the client.
 func (s *RequestStream) arrivalLocked() upload.Arrival {
-	if s.Arrival == nil {
-		unknown := int64(upload.Unknown)
-		return upload.Arrival{Read: s.received.Load(), Unread: unknown, Window: unknown, Unsent: unknown}
+	if s.Client == nil {
+		return upload.Arrival{
+			Read:         s.received.Load(),
+			Unread:       upload.Unknown,
+			Window:       upload.Unknown,
+			ClientSocket: upload.UnknownSocket,
+		}
 	}
-	arrival := s.Arrival()
-	if s.unsentUnknown || !s.tracker.NeedsUnsent(arrival) {
+	arrival := s.Client.Arrival()
+	if s.socketUnknown || !s.tracker.NeedsSocket(arrival) {
 		return arrival
 	}
-	unsent := s.Unsent()
-	s.unsentUnknown = unsent == upload.Unknown
-	arrival = s.Arrival() // bytes that arrive after the call of Unsent count twice, rather than not at all
-	arrival.Unsent = unsent
+	socket := s.Client.Socket()
+	s.socketUnknown = socket == upload.UnknownSocket
+	arrival = s.Client.Arrival() // bytes that arrive after the call of Socket count twice, rather than not at all
+	arrival.ClientSocket = socket
+	arrival.IsIncomplete = s.tracker.NeedsEnd(arrival) && !s.mayEndLocked(socket.Written)
 	return arrival
 }
 
+// mayEndLocked returns Client.MayEnd. It examines the bytes that have come only once, of which written is the number.
+func (s *RequestStream) mayEndLocked(written int64) bool {
+	if s.end.written != written {
+		s.end = bodyEnd{written: written, mayEnd: s.Client.MayEnd()}
+	}
+	return s.end.mayEnd
+}
+
 // startOfTime returns the instant from which the time of the request counts (upload.Tracker.Start).
 func (s *RequestStream) startOfTime(fromLastByte bool) monotime.Micros {
 	s.mu.Lock()
