Count the idle time of an upload from its endpoint's last progress, not per write

What callers saw: an upload whose endpoint stopped taking it while its client was still writing got its 504 after 6.2 to 6.9 s with an idle time of 2 s, and by class, where it is 10 s, after up to 30 s.

Cause: each write of a piece had the whole idle time and went on if the kernel had taken a part of the piece at any moment of it. A kernel takes parts until its buffer is full.

Evidence: TestIdleTimeOfAnUpload (new) failed 4 of 4: 6.2 to 6.9 s, where 2 to 2.55 s are allowed. A trace after the change: parts of pieces and acknowledgements in the first 150 ms, nothing afterwards.

Change: writeBodyPiece looks each 50 ms (writePollInterval) whether there was progress; the idle time counts from the last time that there was. It works since a blocked write that is resumed loses nothing, and an endpoint slower than the buffer still shows in the unacknowledged bytes.

TestPieceArrivesWhileForwardingIsAborted is as it was; without the check of aborted it still fails, by the idle time.

--- a/internal/daemon/uploads_test.go
+++ b/internal/daemon/uploads_test.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -140,6 +142,30 @@
 	uploadscript.Upload{Size: 32_000_000}.Send(dial(t, "tcp", addr)).CheckTimedOut(t)
 }
 
+// Guards against an upload that is answered after several times the idle time of its route: a write of which the kernel
+// takes a part at first, and nothing afterwards, counted as progress for as long as it was blocked.
+func TestIdleTimeOfAnUpload(t *testing.T) {
+	const idle = 2 * time.Second
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %v", chunked), func(t *testing.T) {
+			t.Parallel()
+			received := make(chan time.Time, 1)
+			endpoint := scriptedpeer.StartTCP(t, func(_ *net.TCPConn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					received <- time.Now()
+					<-t.Context().Done()
+				}
+			})
+			addr := startUploadRoute(t, endpoint, `"300ms"`, `"2s"`)
+			uploadscript.Upload{Size: 32_000_000, Chunked: chunked}.Send(dial(t, "tcp", addr)).CheckTimedOut(t)
+			elapsed := time.Since(scriptedpeer.Receive(t, received, "request"))
+			if limit := idle + uploadscript.LatenessTolerance; elapsed < idle || elapsed > limit {
+				t.Errorf("response after %v, want %v to %v", elapsed, idle, limit)
+			}
+		})
+	}
+}
+
 // Guards against an upload on a route that is cut off although its endpoint is taking it, for longer than the client's
 // timeout after the client has sent its last byte.
 func TestSlowEndpointOfAnUploadOnARoute(t *testing.T) {
--- a/internal/fake/uploadscript/uploadscript.go
+++ b/internal/fake/uploadscript/uploadscript.go
@@ -24,9 +24,9 @@
 // ClientTimeout is how long the clients wait for the response, from the last byte of the request on.
 const ClientTimeout = 600 * time.Millisecond
 
-// latenessTolerance is the time after ClientTimeout at which a response still counts as given: 0.5 s (page FLEET), and
+// LatenessTolerance is the time after ClientTimeout at which a response still counts as given: 0.5 s (page FLEET), and
 // 50 ms by which each limit is longer on sockets (page PROTOCOL).
-const latenessTolerance = 550 * time.Millisecond
+const LatenessTolerance = 550 * time.Millisecond
 
 // Reading is how much of a request's body an endpoint reads.
 type Reading uint8
@@ -282,7 +282,7 @@
 // CheckTimedOut checks that the client has got the status 504, and in time.
 func (r Result) CheckTimedOut(t testing.TB) {
 	t.Helper()
-	if r.Status != http.StatusGatewayTimeout || r.Err != nil || r.Elapsed > ClientTimeout+latenessTolerance {
+	if r.Status != http.StatusGatewayTimeout || r.Err != nil || r.Elapsed > ClientTimeout+LatenessTolerance {
 		t.Errorf("status %d after %v, error %v; want 504 within %v", r.Status, r.Elapsed, r.Err, ClientTimeout)
 	}
 }
--- a/internal/upstream/forwardbody.go
+++ b/internal/upstream/forwardbody.go
@@ -12,6 +12,9 @@
 
 // This file forwards request bodies that are streamed.
 
+// writePollInterval is how often the progress of a blocked write is checked.
+const writePollInterval = 50 * time.Millisecond
+
 // forwardBody forwards the streaming body, and then closes bodyWritten.
 func (e *exchange) forwardBody() {
 	complete := e.writeBody()
@@ -71,9 +74,10 @@
 // writeBodyPiece writes a piece of the streaming body, and reports whether it has been written. An endpoint that takes
 // nothing for the idle timeout of the policy ends the attempt, unless it has responded.
 func (e *exchange) writeBodyPiece(piece []byte) bool {
-	for {
-		unacknowledged := sockqueue.Unacknowledged(e.conn.raw)
-		e.conn.SetWriteDeadline(time.Now().Add(e.request.Policy.IdleTimeout))
+	unacknowledged := sockqueue.Unacknowledged(e.conn.raw)
+	idleAt := time.Now().Add(e.request.Policy.IdleTimeout)
+	for time.Now().Before(idleAt) {
+		e.conn.SetWriteDeadline(time.Now().Add(writePollInterval))
 		if e.request.Stream.aborted.Load() {
 			return false // finish may have set its deadline before, which this one has replaced
 		}
@@ -82,12 +86,14 @@
 		if !isTimeout(err) {
 			return err == nil
 		}
+		piece = piece[n:]
 		// The kernel lets a blocked write go on only once a large part of its buffer is free, which takes a slow
-		// endpoint longer than the idle timeout.
-		if n == 0 && sockqueue.Unacknowledged(e.conn.raw) == unacknowledged {
-			break
+		// endpoint longer than the idle timeout. Until then, the endpoint's progress shows in the unacknowledged bytes.
+		previous := unacknowledged
+		unacknowledged = sockqueue.Unacknowledged(e.conn.raw)
+		if n > 0 || unacknowledged != previous {
+			idleAt = time.Now().Add(e.request.Policy.IdleTimeout)
 		}
-		piece = piece[n:]
 	}
 	if !e.headRead.Load() {
 		e.responseTimer.expire()
