An upload on a unix socket: what its client has written has arrived

What callers saw: a client of the daemon that sent 1 MB on a unix socket got 504 after 600 ms, its own time, while its write was blocked, since its request waited in a queue. The same with 4.8 MB in chunks at an endpoint that took 80 kB a second.

Cause: the rest of the body was supposed to lie in the client's send buffer, as it may with TCP. On a unix socket there is none: what a client writes is in the receiver's queue at once.

Change: bodyClient.Socket tells of such a client that nothing is unsent, and that what it has written is what has arrived.

--- a/internal/daemon/uploads_test.go
+++ b/internal/daemon/uploads_test.go
@@ -202,7 +202,7 @@
 )
 
 // forEachQueue runs a subtest by class and one on a route, each with a daemon that admits one request at a time. The
-// daemon's endpoint sends a value to received when the first request begins, and responds to each that has ended.
+// daemon's endpoint is that of startQueueEndpoint.
 func forEachQueue(t *testing.T, test func(t *testing.T, addr string, received <-chan struct{})) {
 	t.Helper()
 	for name, start := range map[string]func(t *testing.T, endpoint string) string{
@@ -218,19 +218,26 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			received := make(chan struct{}, 1)
-			endpoint := scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
-				select {
-				case received <- struct{}{}:
-				default:
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-			})
+			endpoint, received := startQueueEndpoint(t)
 			test(t, start(t, endpoint), received)
 		})
 	}
 }
 
+// startQueueEndpoint starts an endpoint that sends a value to received when the first request begins, and responds to
+// each that has ended. It returns the endpoint's address.
+func startQueueEndpoint(t *testing.T) (addr string, received <-chan struct{}) {
+	t.Helper()
+	first := make(chan struct{}, 1)
+	return scriptedpeer.StartHTTP(t, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case first <- struct{}{}:
+		default:
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}), first
+}
+
 // occupyQueue begins an upload, so that others wait in the queue. It returns a function that sends the rest.
 func occupyQueue(t *testing.T, addr string, received <-chan struct{}) (end func()) {
 	t.Helper()
@@ -295,3 +302,36 @@
 		})
 	}
 }
+
+// Guards against an upload on a unix socket that is rejected while it waits in the queue, although its client cannot
+// have written the last byte: what it has written has arrived, and its write is blocked.
+func TestUploadOnUnixSocketInQueue(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %v", chunked), func(t *testing.T) {
+			t.Parallel()
+			endpoint, received := startQueueEndpoint(t)
+			tcpAddr, unixPath := startUploadClasses(t, endpoint, queueOfClasses...)
+			leaveQueue := occupyQueue(t, tcpAddr, received)
+			conn := dial(t, "unix", unixPath)
+			result := make(chan uploadscript.Result, 1)
+			go func() { result <- uploadscript.Upload{Size: 1_000_000, Chunked: chunked}.Send(conn) }()
+			select {
+			case early := <-result:
+				t.Fatalf("a response before the last byte: %+v", early)
+			case <-time.After(3 * uploadscript.ClientTimeout):
+			}
+			leaveQueue()
+			scriptedpeer.Receive(t, result, "response").CheckServed(t)
+		})
+	}
+}
+
+// Guards against a chunked upload on a unix socket that is cut off while its client's write is blocked, since its
+// endpoint takes the body slowly, and against a late response once the last chunk has arrived.
+func TestChunkedUploadOnUnixSocketToSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	_, unixPath := startUploadClasses(t, uploadscript.StartSlowEndpoint(t, 16_000, 200*time.Millisecond))
+	result := uploadscript.Upload{Size: 4_800_000, Chunked: true}.Send(dial(t, "unix", unixPath))
+	result.CheckTimedOut(t)
+	result.CheckNotCutOff(t)
+}
--- a/internal/frontend/http1/body_client.go
+++ b/internal/frontend/http1/body_client.go
@@ -30,6 +30,9 @@
 
 // Socket implements upstream.BodyClient.
 func (b *bodyClient) Socket() upload.ClientSocket {
+	if b.conn.LocalAddr().Network() == "unix" {
+		return b.unixSocket()
+	}
 	peer := sockqueue.Peer(b.conn.Conn)
 	return upload.ClientSocket{
 		Unsent:         peer.Unacknowledged,
@@ -39,5 +42,15 @@
 	}
 }
 
+// unixSocket returns the socket of a client on a unix socket. What such a client writes is in the receiver's queue at
+// once (unix(7)): it has no send buffer.
+func (b *bodyClient) unixSocket() upload.ClientSocket {
+	arrival := b.conn.input.arrival()
+	if arrival.Unread == upload.Unknown {
+		return upload.UnknownSocket
+	}
+	return upload.ClientSocket{Written: arrival.Read + arrival.Unread}
+}
+
 // MayEnd implements upstream.BodyClient.
 func (b *bodyClient) MayEnd() bool { return b.conn.input.mayEndWith(endOfChunkedBody) }
