Uploads in tests: a slow endpoint ends with its test

Change: the endpoint stops at the end of its test, too.

Result: the uploads to slow endpoints of internal/daemon, twice with -race, no goroutine left.

--- a/internal/fake/uploadscript/uploadscript.go
+++ b/internal/fake/uploadscript/uploadscript.go
@@ -120,8 +120,8 @@
 	})
 }
 
-// StartSlowEndpoint starts an endpoint that reads pieceSize bytes of a request's body in each interval, and responds
-// with the status 200. It returns the endpoint's address.
+// StartSlowEndpoint starts an endpoint that reads pieceSize bytes of a request's body in each interval until the test
+// ends, and responds with the status 200. It returns the endpoint's address.
 func StartSlowEndpoint(t testing.TB, pieceSize int64, interval time.Duration) string {
 	t.Helper()
 	return startReader(t, func(body io.Reader) error {
@@ -131,7 +131,11 @@
 			if _, err := io.CopyN(io.Discard, body, pieceSize); err != nil {
 				return err
 			}
-			<-tick.C
+			select {
+			case <-tick.C:
+			case <-t.Context().Done(): // what the load balancer has written is not read to its end
+				return t.Context().Err()
+			}
 		}
 	})
 }
