--- /dev/null
+++ b/cmd/dunlinsaild/flood_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/floodclient"
+	"dunlinsail/internal/fake/require"
+	"dunlinsail/internal/fake/scripteddiscovery"
+	"dunlinsail/internal/fake/scriptedpeer"
+)
+
+// floodMemoryMB is the memory limit of a daemon that is flooded, in MiB.
+const floodMemoryMB = 128
+
+// floodClasses are the classes of the requests in a flood.
+const floodClasses = `
+[[class]]
+name = "look"
+repeat = "safe"
+aim = "500ms"
+give_up = "1s"
+[[class]]
+name = "pay"
+repeat = "unsafe"
+aim = "500ms"
+give_up = "1s"
+`
+
+// floodedProcess returns the beginning of the configuration of a daemon that is flooded.
+func floodedProcess(addr string, cores int) string {
+	return fmt.Sprintf(`
+[process]
+cores = %d
+memory = "%dMiB"
+descriptors = 512
+[[listener]]
+name = "desk"
+address = %q
+client = "desk"
+[[client]]
+name = "desk"
+`, cores, floodMemoryMB, addr) + floodClasses
+}
+
+// floodedByClass returns the configuration of a daemon that serves requests by class.
+func floodedByClass(t *testing.T, addr string, cores int) string {
+	server, err := discoveryserver.Start(scripteddiscovery.Up("s-0", floodclient.StartEndpoint(t)),
+		scripteddiscovery.Up("s-1", floodclient.StartEndpoint(t)))
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return fmt.Sprintf("[discovery]\naddress = %q\n", server.Addr) + floodedProcess(addr, cores)
+}
+
+// floodedByRoute returns the configuration of a daemon that serves requests by routes.
+func floodedByRoute(t *testing.T, addr string, cores int) string {
+	return floodedProcess(addr, cores) + fmt.Sprintf(`
+[[pool]]
+name = "app"
+endpoints = [%q, %q]
+[[route]]
+path = "/look/*"
+pool = "app"
+class = "look"
+id = "header:X-Trace-Id"
+deadline = "header:X-Expires-In-Ms"
+[[route]]
+path = "/pay/*"
+pool = "app"
+class = "pay"
+`, floodclient.StartEndpoint(t), floodclient.StartEndpoint(t))
+}
+
+// Guards against clients that get their answers late or never while others send small or malformed requests at full
+// speed, and against memory that grows meanwhile.
+func TestFloodStarvesNoOtherClient(t *testing.T) {
+	settings := []struct {
+		name   string
+		config func(t *testing.T, addr string, cores int) string
+		cores  int // 0 is all
+	}{
+		{"by class, one core", floodedByClass, 1},
+		{"by route, one core", floodedByRoute, 1},
+		{"by route, all cores", floodedByRoute, 0},
+	}
+	for _, setting := range settings {
+		for _, kind := range floodclient.Kinds() {
+			t.Run(setting.name+", "+kind.String(), func(t *testing.T) {
+				addr := scriptedpeer.ClosedAddress(t)
+				daemon := startProgram(t, "", writeConfig(t, setting.config(t, addr, setting.cores)))
+				options := floodclient.Options{Addr: addr, Kind: kind, SafeClass: "look", UnsafeClass: "pay"}
+				floodclient.CheckOtherClient(t, options, daemon.cmd.Process.Pid, floodMemoryMB<<20)
+				if t.Failed() {
+					daemon.cmd.Process.Kill()
+					<-daemon.exited
+					t.Log(daemon.log.String())
+				}
+			})
+		}
+	}
+}
