Pause connections that always have input at hand, so that others are served in time

Cause: the goroutine of such a connection never waits. With one processor (the sidecar always, the daemon by process.cores) each kept it for the scheduler's whole time slice of 10 to 20 ms, and with all processors busy the runtime polls the network every 10 ms only: each step of another request waited for all of them. Change: decide/timeslice and timesharing pause a connection that has run for 0.5 ms without waiting, for as long as it ran and in turn with others, so that half of the processors' time is left and the network is polled each time. Checked where a client's bytes are read, between pipelined requests and in streamed responses. Why it works: whatever clients send, the processor is idle in between, and the others' goroutines run at once.

--- a/cmd/dunlinsaild/flood_test.go
+++ b/cmd/dunlinsaild/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"dunlinsail/internal/fake/discoveryserver"
@@ -46,6 +47,7 @@
 
 // floodedByClass returns the configuration of a daemon that serves requests by class.
 func floodedByClass(t *testing.T, addr string, cores int) string {
+	t.Helper()
 	server, err := discoveryserver.Start(scripteddiscovery.Up("s-0", floodclient.StartEndpoint(t)),
 		scripteddiscovery.Up("s-1", floodclient.StartEndpoint(t)))
 	require.NoError(t, err)
@@ -55,6 +57,7 @@
 
 // floodedByRoute returns the configuration of a daemon that serves requests by routes.
 func floodedByRoute(t *testing.T, addr string, cores int) string {
+	t.Helper()
 	return floodedProcess(addr, cores) + fmt.Sprintf(`
 [[pool]]
 name = "app"
@@ -75,6 +78,17 @@
 // Guards against clients that get their answers late or never while others send small or malformed requests at full
 // speed, and against memory that grows meanwhile.
 func TestFloodStarvesNoOtherClient(t *testing.T) {
+	floodDaemon(t, slices.DeleteFunc(floodclient.Kinds(), floodclient.Kind.IsUpload))
+}
+
+// Guards against clients that are rejected because the uploads of others have no end.
+func TestUploadsWithoutEndRejectNoOtherClient(t *testing.T) {
+	floodDaemon(t, []floodclient.Kind{floodclient.ShortChunks, floodclient.Uploads})
+}
+
+// floodDaemon checks another client beside a flood of each kind, by class and by route, with one core and with all.
+func floodDaemon(t *testing.T, kinds []floodclient.Kind) {
+	t.Helper()
 	settings := []struct {
 		name   string
 		config func(t *testing.T, addr string, cores int) string
@@ -85,7 +99,7 @@
 		{"by route, all cores", floodedByRoute, 0},
 	}
 	for _, setting := range settings {
-		for _, kind := range floodclient.Kinds() {
+		for _, kind := range kinds {
 			t.Run(setting.name+", "+kind.String(), func(t *testing.T) {
 				addr := scriptedpeer.ClosedAddress(t)
 				daemon := startProgram(t, "", writeConfig(t, setting.config(t, addr, setting.cores)))
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -92,6 +92,11 @@
 	writeMetric("out_of_rotation", uint64(stats.AvoidedEndpoints))
 	writeMetric("surplus_responses", g.upstreams.SurplusResponses())
 	writeMetric("suspect_responses", g.upstreams.SuspectResponses())
+	if processors := g.options.processors; processors != nil {
+		pauses, pausedTime := processors.Pauses()
+		writeMetric("client_pauses", pauses)
+		writeMetric("client_paused_ms", uint64(pausedTime.Milliseconds()))
+	}
 	for _, closed := range g.frontend.ClosedConnections() {
 		writeMetric("client_connections_closed."+closed.Reason, closed.Count)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/decide/rollout"
+	"dunlinsail/internal/timesharing"
 )
 
 // stopAcceptDelay is how long a stopping daemon continues to accept connections, for clients that resolved its
@@ -38,6 +39,8 @@
 	OnServing func(addresses map[string]string)
 	// OnVersionDecided is called for each version of the configuration that is acknowledged or rejected. It may be nil.
 	OnVersionDecided func(rollout.Command)
+
+	processors *timesharing.Processors // shared by all generations of the process
 }
 
 // Run serves until stop is canceled or another process has taken over. It returns once every request has its
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -129,6 +129,7 @@
 		SendAttempt: g.upstreams.Send,
 		Log:         g.log,
 		Limits:      c.ConnectionLimits(),
+		Processors:  g.options.processors,
 	}
 	if p := g.pools[""]; p != nil {
 		frontOptions.Pool = p.corePool
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -10,6 +10,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/takeover"
+	"dunlinsail/internal/timesharing"
 )
 
 // process is a daemon's process, which lasts for all its configurations. Package decide/rollout decides which
@@ -43,6 +44,7 @@
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
+	options.processors = timesharing.New(clock.New(), options.Log)
 	p := &process{
 		options:      options,
 		log:          options.Log,
@@ -111,7 +113,7 @@
 
 // assemble returns a generation for a configuration, without starting it.
 func (p *process) assemble(c *config.Config) (*generation, error) {
-	return assemble(Options{Config: c, Log: p.log, Seed: p.options.Seed})
+	return assemble(Options{Config: c, Log: p.log, Seed: p.options.Seed, processors: p.options.processors})
 }
 
 // newLifecycle returns the lifecycle of a generation. The lifecycle notifies the process when the generation
--- /dev/null
+++ b/internal/decide/timeslice/timeslice.go
@@ -0,0 +1,49 @@
+// Package timeslice decides how long a goroutine may run on input that is at hand, and when it may run again. A
+// goroutine that never waits keeps its processor for a whole time slice of the runtime's scheduler, 10 to 20 ms, and
+// while all processors are busy the runtime polls the network only every 10 ms: all other connections would be served
+// that much later at each step.
+package timeslice
+
+import "dunlinsail/internal/monotime"
+
+const (
+	// MaxRun is how long a goroutine may run without waiting.
+	MaxRun = monotime.Millisecond / 2
+	// maxCountedRun bounds how long a run counts. A goroutine that has run for longer was preempted or has waited.
+	maxCountedRun = 10 * monotime.Millisecond
+	// sharedProcessors is the divisor that leaves half of the processors' time to goroutines that do wait.
+	sharedProcessors = 2
+)
+
+// Slice measures for how long a goroutine has run without waiting. The zero Slice has not started.
+type Slice struct {
+	startedAt monotime.Micros
+}
+
+// Restart records that the goroutine has waited until the instant now.
+func (s *Slice) Restart(now monotime.Micros) { s.startedAt = now }
+
+// Run returns for how long the goroutine has run at the instant now, and whether that is MaxRun or more. The first call
+// starts the slice.
+func (s *Slice) Run(now monotime.Micros) (length monotime.Micros, usedUp bool) {
+	if s.startedAt == 0 {
+		s.startedAt = now
+	}
+	length = now - s.startedAt
+	return length, length >= MaxRun
+}
+
+// Scheduler selects the instants at which goroutines that have used up their slices run again. The zero Scheduler has
+// selected none.
+type Scheduler struct {
+	nextStart monotime.Micros // earliest instant for the next goroutine
+}
+
+// NextStart returns the instant at which a goroutine may run again that has run for the given length until the instant
+// now: after a pause as long as its run, and in turn after the goroutines that paused before it.
+func (s *Scheduler) NextStart(now, length monotime.Micros, processors int) monotime.Micros {
+	length = min(max(length, MaxRun), maxCountedRun)
+	start := max(now+length, s.nextStart)
+	s.nextStart = start + sharedProcessors*length/monotime.Micros(max(1, processors))
+	return start
+}
--- a/internal/fake/floodclient/floodclient.go
+++ b/internal/fake/floodclient/floodclient.go
@@ -38,6 +38,9 @@
 // String returns the kind's name as test names and reports print it.
 func (k Kind) String() string { return kindNames[k] }
 
+// IsUpload reports whether a flood of the kind consists of uploads without end.
+func (k Kind) IsUpload() bool { return k == ShortChunks || k == Uploads }
+
 // Kinds returns all kinds.
 func Kinds() (kinds []Kind) {
 	for k := range kindCount {
@@ -187,7 +190,7 @@
 
 // opening returns what is sent first on a connection.
 func (f *flood) opening() string {
-	if f.options.Kind != ShortChunks && f.options.Kind != Uploads {
+	if !f.options.Kind.IsUpload() {
 		return ""
 	}
 	return fmt.Sprintf("POST /%s/flood HTTP/1.1\r\nHost: flood\r\nX-Trace-Id: flood-%d\r\n"+
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -75,6 +75,13 @@
 	maxLingerBytes = 64 << 10               // how many bytes linger reads at most
 )
 
+// Write writes to the connection, and records whether it has waited for the client.
+func (c *conn) Write(b []byte) (int, error) {
+	startedAt := c.input.turn.Start()
+	defer c.input.turn.End(startedAt)
+	return c.Conn.Write(b)
+}
+
 // reject writes the last response on the connection. The request may not have been read completely.
 func (c *conn) reject(response *localResponse) {
 	c.writeResponse(response, true)
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -10,6 +10,7 @@
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/monotime"
+	"dunlinsail/internal/timesharing"
 )
 
 // connManager accepts clients' connections and limits their number. http.Server is not used because it exposes
@@ -20,6 +21,8 @@
 	serve func(*conn) // serves a connection, and returns when it is to be closed
 	log   *slog.Logger
 
+	processors *timesharing.Processors
+
 	mu           sync.Mutex
 	table        *connlimit.Table[*conn]
 	expiryTimer  *time.Timer // closes connections that have been idle for too long
@@ -60,7 +63,7 @@
 	if onClose == nil {
 		onClose = func() {}
 	}
-	c := &conn{Conn: netConn, client: client, input: newPeekableConn(netConn)}
+	c := &conn{Conn: netConn, client: client, input: newPeekableConn(netConn, m.processors.NewTurn(client.Name))}
 	c.readLimit.R = c.input
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/frontend/http1/connmanager_test.go
+++ b/internal/frontend/http1/connmanager_test.go
@@ -10,6 +10,7 @@
 	"dunlinsail/internal/decide/connlimit"
 	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/timesharing"
 )
 
 // managerFixture is a test fixture: a connManager with one client, and a listener for the client's connections.
@@ -180,7 +181,7 @@
 	client, server := connectedPair(t, listen(t))
 	defer server.Close()
 	s := &Server{options: Options{Clock: clock.New()}}
-	c := &conn{Conn: server, input: newPeekableConn(server)}
+	c := &conn{Conn: server, input: newPeekableConn(server, &timesharing.Turn{})}
 	if s.isLastResponse(c) {
 		t.Error("last although the server is not closing")
 	}
--- a/internal/frontend/http1/handoff.go
+++ b/internal/frontend/http1/handoff.go
@@ -42,6 +42,7 @@
 func (m *connManager) awaitRequest(c *conn, deadline time.Time) bool {
 	c.releaseBuffer()
 	if c.buffer != nil {
+		c.input.turn.Yield()
 		m.mu.Lock()
 		c.requestStarted = true
 		m.mu.Unlock()
--- a/internal/frontend/http1/peekable.go
+++ b/internal/frontend/http1/peekable.go
@@ -10,6 +10,7 @@
 
 	"dunlinsail/internal/decide/upload"
 	"dunlinsail/internal/sockqueue"
+	"dunlinsail/internal/timesharing"
 )
 
 // lastReadBytes is how many of the bytes that have been read last are kept.
@@ -27,6 +28,9 @@
 	readTotal  int64               // bytes that have been read
 	lastRead   [lastReadBytes]byte // the last of them; the first ones are 0 if fewer have been read
 
+	turn   *timesharing.Turn // of the goroutine that reads; a client that always has bytes at hand pauses it
+	waited bool              // the current read found no bytes at first
+
 	// Arguments and results of the current read. The callback is created once, because creating it for each read
 	// would allocate.
 	readBuffer   []byte
@@ -35,8 +39,8 @@
 	readCallback func(fd uintptr) bool
 }
 
-func newPeekableConn(netConn net.Conn) *peekableConn {
-	p := &peekableConn{fallbackReader: netConn}
+func newPeekableConn(netConn net.Conn, turn *timesharing.Turn) *peekableConn {
+	p := &peekableConn{fallbackReader: netConn, turn: turn}
 	if sc, ok := netConn.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			p.rawConn = raw
@@ -61,8 +65,10 @@
 		return 0, nil
 	}
 	p.readBuffer = b
+	p.waited = false
 	err := p.rawConn.Read(p.readCallback)
 	p.readBuffer = nil
+	p.endRead()
 	switch {
 	case err != nil: // a deadline has passed, or the connection is closed
 		return 0, err
@@ -74,6 +80,16 @@
 	return p.readCount, nil
 }
 
+// endRead starts a new turn of the reading goroutine if the read has waited, and otherwise pauses it if its turn is
+// over.
+func (p *peekableConn) endRead() {
+	if p.waited {
+		p.turn.Waited()
+	} else {
+		p.turn.Yield()
+	}
+}
+
 // receive makes one attempt to read, and reports whether the read is complete. It holds the mutex, so that
 // allBytesExamined always sees the bytes either in the kernel or marked as unexamined.
 func (p *peekableConn) receive(fd uintptr) bool {
@@ -86,13 +102,22 @@
 		}
 	}
 	p.recordReadLocked(p.readBuffer[:max(0, p.readCount)]) // the count is negative after an error
-	return !errors.Is(p.readErr, syscall.EAGAIN)
+	blocked := errors.Is(p.readErr, syscall.EAGAIN)
+	p.waited = p.waited || blocked
+	return !blocked
 }
 
 // waitReadable waits until bytes can be read or the connection has ended. rawConn must not be nil.
 func (p *peekableConn) waitReadable() error {
 	p.setUnexamined(false)
-	return p.rawConn.Read(func(fd uintptr) bool { return !errors.Is(pendingErrno(fd), syscall.EAGAIN) })
+	p.waited = false
+	err := p.rawConn.Read(func(fd uintptr) bool {
+		blocked := errors.Is(pendingErrno(fd), syscall.EAGAIN)
+		p.waited = p.waited || blocked
+		return !blocked
+	})
+	p.endRead()
+	return err
 }
 
 // pendingErrno returns the error that a read would return now: syscall.EAGAIN if nothing has arrived.
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -230,8 +230,12 @@
 func (x *exchange) streamBody(rest *upstream.ResponseStream, chunked bool) error {
 	buf := copyBufferPool.Get().(*[copyBufferSize]byte)
 	defer copyBufferPool.Put(buf)
+	turn := x.conn.input.turn
 	for {
+		turn.Yield()
+		startedAt := turn.Start()
 		n, err := readAvailable(rest, http1msg.ChunkData(buf[:]))
+		turn.End(startedAt)
 		output := http1msg.ChunkData(buf[:])[:n]
 		if n > 0 && chunked {
 			output = http1msg.FrameChunk(buf[:], n)
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -27,6 +27,7 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/siteconfig"
+	"dunlinsail/internal/timesharing"
 	"dunlinsail/internal/upstream"
 )
 
@@ -60,6 +61,9 @@
 	// SendAttempt sends one attempt of a request to an endpoint and returns its result.
 	SendAttempt func(context.Context, *core.AttemptContext, *upstream.Request) engine.AttemptResult
 
+	// Processors shares the processors among the connections; nil does without.
+	Processors *timesharing.Processors
+
 	// RecordExchange is called once for each forwarded request when it has completed. It may be called
 	// concurrently and must not block. If it is nil, nothing is recorded.
 	RecordExchange func(*ExchangeRecord)
@@ -82,7 +86,11 @@
 	s.classRoutes = s.newClassRoutes()
 	var err error
 	s.conns, err = newConnManager(options.Limits, options.Clock, s.serveConn, options.Log)
-	return s, err
+	if err != nil {
+		return nil, err
+	}
+	s.conns.processors = options.Processors
+	return s, nil
 }
 
 // ConnectionCounts returns the number of open client connections, and how many of them have a request in flight
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -33,6 +33,9 @@
 		appendMetric(class+".throttled", outcomes.Throttled)
 		appendMetric(class+".faulted", outcomes.Faulted)
 	}
+	pauses, pausedTime := s.processors.Pauses()
+	appendMetric("client_pauses", pauses)
+	appendMetric("client_paused_ms", uint64(pausedTime.Milliseconds()))
 	appendMetric("relayed", forwarded)
 	appendMetric("open_requests", uint64(openRequests))
 	appendMetric("registry_entries", uint64(statistics.ListedEndpoints))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"dunlinsail/internal/eventlog"
 	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/platform"
+	"dunlinsail/internal/timesharing"
 	"dunlinsail/internal/upstream"
 )
 
@@ -117,6 +118,7 @@
 	listSource *discovery.Source
 	frontend   *http1.Server
 	client     *http1.Client // the only client, the application
+	processors *timesharing.Processors
 	events     *eventlog.Log // nil if the configuration has no event log
 
 	endpointPool  *core.Pool
@@ -134,6 +136,7 @@
 // dial is nil.
 func assemble(c *platform.Config, dial dialFunc, log *slog.Logger) (*sidecar, error) {
 	s := &sidecar{config: c, clock: clock.New(), log: log}
+	s.processors = timesharing.New(s.clock, log)
 	var observer engine.Observer
 	if c.Events != nil {
 		s.events = eventlog.NewLog(c.Events, s.clock.Now)
@@ -195,6 +198,7 @@
 		Pool:        s.endpointPool,
 		SendAttempt: s.connPool.Send,
 		Limits:      clientLimits(availableSockets(c)),
+		Processors:  s.processors,
 		Log:         s.log,
 	})
 	if err != nil {
