An event that arrives as a catch-up ends does not overtake those deferred before it

What callers could see: a client that leaves right after a stall of the process had its request sent all the same; requests changed their order. Cause: the core handles a deferrable event at once if the catch-up's time has passed, although earlier ones are still deferred until the next step. select picks at random between the timer and an event. Change: while events are deferred, later deferrable ones are deferred behind them. Result: the test passes; package core passes.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -34,7 +34,7 @@
 	now := l.readClock()
 	l.startPendingPools(now)
 	if !l.catchUp.active(now) {
-		l.handleDeferred(now)
+		l.endCatchUp(now)
 		l.engine.Advance(now)
 	}
 	l.armTimer(now, l.nextWakeup(now))
@@ -93,12 +93,12 @@
 	}
 }
 
-// handle handles an event. While the loop is catching up, it defers the event if the event is deferrable.
+// handle handles an event, or defers it if it is deferrable and the catch-up requires that.
 func (l *loop) handle(queued queuedEvent) {
 	now := l.readClock()
 	l.catchUp.extend(now)
 	l.startPendingPools(now)
-	if queued.deferrable && l.catchUp.active(now) {
+	if queued.deferrable && l.catchUp.mustDefer(now) {
 		l.catchUp.deferred = append(l.catchUp.deferred, queued)
 		return
 	}
@@ -111,8 +111,8 @@
 	queued.handle(now)
 }
 
-// handleDeferred handles the deferred events in the order in which they were posted.
-func (l *loop) handleDeferred(now monotime.Micros) {
+// endCatchUp handles the deferred events in the order in which they were posted.
+func (l *loop) endCatchUp(now monotime.Micros) {
 	deferred := l.catchUp.deferred
 	l.catchUp.deferred = nil
 	for _, queued := range deferred {
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 
 	"dunlinsail/internal/decide/stall"
@@ -35,6 +36,28 @@
 	}
 }
 
+// Guards against an event that overtakes those that were deferred before it, for example the end of a client that
+// overtakes its request.
+func TestDeferredEventsKeepTheirOrder(t *testing.T) {
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	l := &loop{Core: p.core}
+	var handled []int
+	deferrable := func(n int) queuedEvent {
+		queued := p.core.newQueuedEvent(func(monotime.Micros) { handled = append(handled, n) })
+		queued.deferrable = true
+		return queued
+	}
+	now := l.readClock()
+	l.catchUp.start(stall.Interval{From: now - 100*ms, To: now})
+	l.handle(deferrable(1))
+	l.catchUp.endsAt = now // the catch-up ends while the loop waits for an event
+	l.handle(deferrable(2))
+	l.endCatchUp(now)
+	if !slices.Equal(handled, []int{1, 2}) {
+		t.Errorf("handled in the order %v", handled)
+	}
+}
+
 // After a stall, a core handles responses from endpoints before new requests, and the requests keep their
 // order.
 func TestOutcomesAreHandledBeforeRequestsAfterStall(t *testing.T) {
