--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"dunlinsail/internal/clock"
 	"dunlinsail/internal/decide/stall"
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/fake/scriptedpeer"
@@ -39,11 +40,11 @@
 // Guards against an event that overtakes those that were deferred before it, for example the end of a client that
 // overtakes its request.
 func TestDeferredEventsKeepTheirOrder(t *testing.T) {
-	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
-	l := &loop{Core: p.core}
+	core := New(Config{Clock: clock.New(), Site: testSite(), Seed: 1, Log: scriptedpeer.DiscardLog})
+	l := &loop{Core: core}
 	var handled []int
 	deferrable := func(n int) queuedEvent {
-		queued := p.core.newQueuedEvent(func(monotime.Micros) { handled = append(handled, n) })
+		queued := core.newQueuedEvent(func(monotime.Micros) { handled = append(handled, n) })
 		queued.deferrable = true
 		return queued
 	}
