A stall during the catch-up after another one does not prolong it

Cause: after a stall the core defers clients' events and fires no timer for up to 20 ms. Each stall found meanwhile started that time anew, so that with recurring stalls no request was submitted and none timed out until they ended. Change: a stall during an open catch-up leaves its latest end as it is. 'process stalled' tells how many events are queued and deferred.

--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -21,18 +21,38 @@
 // Otherwise the core would decide on new requests as if attempts were in flight whose responses arrived long
 // ago.
 type catchUp struct {
+	open      bool            // the catch-up has started, and its deferred events have not been handled
 	endsAt    monotime.Micros // instant at which the catch-up ends
 	latestEnd monotime.Micros // latest instant to which endsAt may be extended
 	// deferred holds the events that wait for the end of the catch-up, in order.
 	deferred []queuedEvent
 }
 
+// stalled records a stall that has just ended. It starts a catch-up, unless the stall has interrupted one: that keeps
+// its latest end, so that recurring stalls delay no event and no timer without bound.
+func (c *catchUp) stalled(interval stall.Interval) {
+	if c.open {
+		c.endsAt = min(c.latestEnd, interval.To+quietTime)
+		return
+	}
+	c.start(interval)
+}
+
 // start starts the catch-up at the end of a stall.
 func (c *catchUp) start(interval stall.Interval) {
+	c.open = true
 	c.latestEnd = interval.To + min(maxCatchUpTime, interval.Length()/catchUpDivisor)
 	c.endsAt = min(c.latestEnd, interval.To+quietTime)
 }
 
+// end ends the catch-up, and returns the deferred events.
+func (c *catchUp) end() (deferred []queuedEvent) {
+	deferred = c.deferred
+	c.deferred = nil
+	c.open = false
+	return deferred
+}
+
 // active reports whether the core is catching up at the instant now.
 func (c *catchUp) active(now monotime.Micros) bool { return now < c.endsAt }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -54,7 +54,7 @@
 	now := l.config.Clock.Now()
 	if interval, found := l.detector.Run(now); found {
 		l.engine.Stalled(now, interval)
-		l.catchUp.start(interval)
+		l.catchUp.stalled(interval)
 		l.logStall(interval)
 	}
 	return now
@@ -66,7 +66,8 @@
 // logStall logs a stall of at least minLoggedStall.
 func (l *loop) logStall(interval stall.Interval) {
 	if interval.Length() >= minLoggedStall {
-		l.config.Log.Warn("process stalled", "for_ms", interval.Length()/monotime.Millisecond)
+		l.config.Log.Warn("process stalled", "for_ms", interval.Length()/monotime.Millisecond,
+			"queued_events", len(l.events), "deferred_events", len(l.catchUp.deferred))
 	}
 }
 
@@ -113,9 +114,7 @@
 
 // endCatchUp handles the deferred events in the order in which they were posted.
 func (l *loop) endCatchUp(now monotime.Micros) {
-	deferred := l.catchUp.deferred
-	l.catchUp.deferred = nil
-	for _, queued := range deferred {
+	for _, queued := range l.catchUp.end() {
 		l.handleNow(now, queued)
 	}
 }
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -37,6 +37,35 @@
 	}
 }
 
+// recurringStalls makes the core stall the given number of times, one right after another, and adds 1 to *stalls with
+// each.
+func recurringStalls(core *Core, count int, stalls *int) {
+	core.post(func(now monotime.Micros) {
+		for core.config.Clock.Now() < now+15*ms { // stalls for at least 15 ms
+		}
+		if *stalls++; *stalls < count {
+			recurringStalls(core, count, stalls)
+		}
+	})
+}
+
+// Guards against requests that wait without bound because each stall starts another catch-up.
+func TestRecurringStallsDelayRequestsOnce(t *testing.T) {
+	const maxStalls = 20
+	p, _ := startCore(t, engine.EndpointInfo{Name: "s-1", Addr: "127.0.0.1:1", Zone: "a"})
+	core := p.core
+	var stalls int // accessed only on the core's goroutine
+	recurringStalls(core, maxStalls, &stalls)
+	stallsBefore := make(chan int, 1)
+	core.postDeferrable(func(monotime.Micros) { stallsBefore <- stalls })
+	if got := scriptedpeer.Receive(t, stallsBefore, "the request"); got > 3 {
+		t.Errorf("a request was handled after %d stalls", got)
+	}
+	scriptedpeer.Eventually(t, "the last stall", func() bool {
+		return query(core, func(monotime.Micros) bool { return stalls == maxStalls })
+	})
+}
+
 // Guards against an event that overtakes those that were deferred before it, for example the end of a client that
 // overtakes its request.
 func TestDeferredEventsKeepTheirOrder(t *testing.T) {
