Uploads that are still arriving take half of the places in flight at most

What callers saw: beside six uploads without end, dunlinsaild rejected all requests of other clients with 503. Cause: a request with a streamed body counts as in flight until its client has sent it. With the learned limit (4 at first) or a configured one, a few slow, endless or abandoned uploads occupy all places for up to the route's whole time, and no response comes from which the limit could be learned. Their time also raised what is expected of their class. Change: engine/admissionqueue.go keeps uploads in a scheduler of their own with half of the limit at most; what they neither use nor wait for is for the others. Uploads are no samples of service times. The limit as a whole holds as before, but for a limit of one. Why it works: half of the places are always left, and are soon free again.

--- a/internal/decide/fairqueue/scheduler.go
+++ b/internal/decide/fairqueue/scheduler.go
@@ -56,7 +56,8 @@
 // has no open requests.
 func (s *Scheduler) Close() { s.closed = true }
 
-// SetMaxInFlight sets the greatest number of requests in flight; 0 means no limit.
+// SetMaxInFlight sets the greatest number of requests in flight; 0 means no limit. With a negative number no request is
+// admitted.
 func (s *Scheduler) SetMaxInFlight(n int) { s.settings.MaxInFlight = n }
 
 // Counts returns how many requests are waiting and how many are in flight.
@@ -120,7 +121,12 @@
 
 // mustWait reports whether a new request cannot be admitted at once.
 func (s *Scheduler) mustWait() bool {
-	return s.settings.MaxInFlight > 0 && (s.inFlight >= s.settings.MaxInFlight || s.backlog.Len() > 0)
+	return s.isFull() || s.settings.MaxInFlight != 0 && s.backlog.Len() > 0
+}
+
+// isFull reports whether as many requests are in flight as may be.
+func (s *Scheduler) isFull() bool {
+	return s.settings.MaxInFlight != 0 && s.inFlight >= s.settings.MaxInFlight
 }
 
 // reject stores the decision to reject a request, for Next to return.
@@ -169,7 +175,7 @@
 	if s.backlog.Len() == 0 {
 		return Decision{}, false
 	}
-	if s.settings.MaxInFlight > 0 && s.inFlight >= s.settings.MaxInFlight {
+	if s.isFull() {
 		return s.expire(now)
 	}
 	flow := s.backlog.First()
--- a/internal/engine/admission.go
+++ b/internal/engine/admission.go
@@ -38,9 +38,8 @@
 		}
 		maxInFlight = p.concurrency.Limit()
 	}
-	p.queue = fairqueue.New(fairqueue.Settings{
+	p.queue = newAdmissionQueue(maxInFlight, fairqueue.Settings{
 		InitialTimes: expectedTimes,
-		MaxInFlight:  maxInFlight,
 		Shared:       p.engine.openTotal,
 	})
 	return nil
@@ -60,12 +59,7 @@
 	if class.LateWeight == 0 {
 		usefulUntil = min(usefulUntil, c.ArrivedAt+class.LatencyObjective)
 	}
-	p.queue.Enqueue(now, c.Client.account, fairqueue.Request{
-		ID:              c.Request.ID,
-		Class:           int(c.Request.Class),
-		Deadline:        usefulUntil,
-		MaxWaitFraction: p.balancer.QueueWaitFraction(now, c.Request),
-	})
+	p.queue.enqueue(now, c, usefulUntil, p.balancer.QueueWaitFraction(now, c.Request))
 	p.engine.markDirty(p)
 }
 
@@ -95,10 +89,10 @@
 func (p *Pool) dispatchQueued(now monotime.Micros) {
 	eng := p.engine
 	if p.concurrency != nil {
-		p.queue.SetMaxInFlight(p.concurrency.Limit())
+		p.queue.maxInFlight = p.concurrency.Limit()
 	}
 	for {
-		decision, ok := p.queue.Next(now)
+		decision, ok := p.queue.next(now)
 		if !ok {
 			break
 		}
@@ -114,7 +108,7 @@
 
 // admit passes a request from the queue to the balancer.
 func (p *Pool) admit(now monotime.Micros, c *Call) {
-	_, inFlight := p.queue.Counts()
+	_, inFlight := p.queue.counts()
 	c.admittedAt = now
 	c.inFlightAtAdmission = inFlight
 	c.Request.QueueTime = now - c.ArrivedAt
@@ -124,7 +118,7 @@
 // scheduleQueue sets the timer for the earliest instant at which a queued request can no longer be served in
 // time and must be rejected.
 func (p *Pool) scheduleQueue() {
-	due := p.queue.NextExpiry()
+	due := p.queue.nextExpiry()
 	if due == p.queueTimerDue {
 		return
 	}
@@ -167,18 +161,18 @@
 // observeServiceTime updates learned estimates from the time that a served request was in flight: the queue's
 // service time of its class, and the concurrency limit. limitReached is set if other requests are queued or
 // this one was, so that the limit may be too low. A request during which this process stalled is skipped, since
-// its service time is unknown.
+// its service time is unknown, and so is an upload, whose time depends on its client.
 func (p *Pool) observeServiceTime(now monotime.Micros, c *Call) {
 	serviceTime := now - c.admittedAt
-	if p.engine.stalls.Within(c.admittedAt, now) > 0 {
+	if c.Request.Upload || p.engine.stalls.Within(c.admittedAt, now) > 0 {
 		return
 	}
 	class := int(c.Request.Class)
-	p.queue.ObserveServiceTime(class, serviceTime)
+	p.queue.requests.ObserveServiceTime(class, serviceTime)
 	if p.concurrency == nil {
 		return
 	}
-	queued, _ := p.queue.Counts()
+	queued, _ := p.queue.counts()
 	limitReached := queued > 0 || c.admittedAt > c.ArrivedAt+minQueueTime
 	p.concurrency.AddSample(now, class, serviceTime, c.inFlightAtAdmission, limitReached)
 }
@@ -187,7 +181,7 @@
 // requests in flight, which is lowered while the limiter runs a measurement. The limit is 0 if it is not
 // learned.
 func (p *Pool) RequestCounts() (queued, inFlight, maxInFlight int) {
-	queued, inFlight = p.queue.Counts()
+	queued, inFlight = p.queue.counts()
 	if p.concurrency != nil {
 		maxInFlight = p.concurrency.Limit()
 	}
--- a/internal/engine/finalresponse.go
+++ b/internal/engine/finalresponse.go
@@ -36,7 +36,7 @@
 	p.balancer.HandleHeaders(now, c.Request.ID, a.Number, attemptLatency(a, &r)) // cancels the other attempts
 	p.observeServiceTime(now, c)
 	eng.respond(c, Response{Verdict: Served, Result: &r, Endpoint: a.Endpoint.Name})
-	p.queue.Done(now, c.Request.ID)
+	p.queue.done(now, c)
 	eng.markDirty(p)
 	return true
 }
@@ -92,7 +92,7 @@
 	}
 	delete(eng.calls, c.Request.ID)
 	delete(c.Client.openCalls, c.ID)
-	c.Pool.queue.Done(eng.now, c.Request.ID)
+	c.Pool.queue.done(eng.now, c)
 	eng.markDirty(c.Pool)
 	c.Pool.openCalls--
 	c.Pool.dissolveIfIdle()
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,7 +6,6 @@
 
 	"dunlinsail/balancer"
 	"dunlinsail/internal/decide/concurrency"
-	"dunlinsail/internal/decide/fairqueue"
 	"dunlinsail/internal/decide/overload"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/monotime"
@@ -56,7 +55,7 @@
 	config   PoolConfig
 	balancer *balancer.Balancer
 
-	queue         *fairqueue.Scheduler
+	queue         *admissionQueue
 	concurrency   *concurrency.Limiter // nil if the concurrency limit is not learned
 	queueTimer    *timer               // for the next expiry of a queued request; may be nil
 	queueTimerDue monotime.Micros      // instant at which queueTimer fires; 0 without a timer
@@ -165,7 +164,7 @@
 func (p *Pool) Close(now monotime.Micros) {
 	p.engine.now = now
 	p.closed = true
-	p.queue.Close()
+	p.queue.close()
 	p.dissolveIfIdle()
 	p.engine.dispatchQueued(now)
 }
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		r.learned.Classes = append(r.learned.Classes, r.snapshot.Learned.Classes[index])
-		r.pool.queue.RestoreServiceTime(i, r.snapshot.Classes[index].ServiceTimes)
+		r.pool.queue.requests.RestoreServiceTime(i, r.snapshot.Classes[index].ServiceTimes)
 	}
 }
 
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -163,7 +163,7 @@
 // addLearnedSettings adds the classes with their learned service times, and the tenants.
 func (p *Pool) addLearnedSettings(s *PoolSnapshot) {
 	site := p.engine.config.Site
-	times := p.queue.ServiceTimes()
+	times := p.queue.requests.ServiceTimes()
 	for i := range site.Settings.Classes {
 		s.Classes = append(s.Classes, LearnedClass{
 			Name:         site.Classes[i],
