An ID that may still run is refused, also at the successor and after its client has left

What callers saw: an id of an unsafe or keyed request ran twice when it came again after its client had left, or at the other process of an upgrade, or after a SIGHUP that starts a new generation (owed: 409). Cause: an id counted as open only while its request was in the engine's table of this process and generation. A request whose client leaves is cancelled and removed, although the endpoint may still run it; open ids were not handed over.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -41,12 +41,14 @@
 
 // Call is a client's request while the core processes it. The exported fields are set before Core.Submit.
 type Call struct {
-	Client    *engine.Client
-	Pool      *Pool            // pool of endpoints that may serve the request
-	ID        string           // request ID, unique among the client's open requests
-	Request   balancer.Request // the engine sets Request.ID
-	ArrivedAt monotime.Micros  // instant at which the request was completely received
-	Attempt   AttemptFunc
+	Client *engine.Client
+	Pool   *Pool  // pool of endpoints that may serve the request
+	ID     string // request ID, unique among the client's open requests
+	// GeneratedID is set if the client has not chosen the ID.
+	GeneratedID bool
+	Request     balancer.Request // the engine sets Request.ID
+	ArrivedAt   monotime.Micros  // instant at which the request was completely received
+	Attempt     AttemptFunc
 
 	// Response receives exactly one final response. It must be a channel with a buffer of one.
 	Response chan engine.Response
@@ -63,6 +65,7 @@
 		Client:        c.Client,
 		Pool:          c.Pool.enginePool,
 		ID:            c.ID,
+		GeneratedID:   c.GeneratedID,
 		Request:       c.Request,
 		ArrivedAt:     c.ArrivedAt,
 		HostData:      c,
--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -31,6 +31,7 @@
 	c := a.Call
 	c.openAttempts--
 	c.lastTimedOut = r.Status == balancer.Timeout
+	c.mayHaveRun = c.mayHaveRun || !neverRan(r.Status)
 	if r.Response != nil {
 		c.lastResult = &r
 		c.lastResultAttempt = a.Number
@@ -62,6 +63,11 @@
 	})
 }
 
+// neverRan reports whether an attempt with the given outcome has certainly not run.
+func neverRan(status balancer.Status) bool {
+	return status == balancer.NotSent || status == balancer.ConnectFailed || status == balancer.Rejected
+}
+
 // observeOutcome passes the outcome of an attempt to the parts of the pool that keep estimates from it, except
 // the balancer.
 func (p *Pool) observeOutcome(now monotime.Micros, a *Attempt, r AttemptResult, latency monotime.Micros) {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -31,7 +31,7 @@
 	RateLimited         // rejected because its client or tenant is over its rate limit; a retry is harmless
 	Failed              // the request failed and may have had an effect
 	TimedOut            // the request failed with a timeout of its last attempt, and may have had an effect
-	DuplicateID         // not accepted: the client has another open request with this ID
+	DuplicateID         // not accepted: another request of the client with this ID is open or may still run
 )
 
 // Response is the final response to a request.
@@ -50,12 +50,14 @@
 
 // Call is a client's request while the engine handles it. The exported fields are set before Engine.Submit.
 type Call struct {
-	Client    *Client
-	Pool      *Pool            // pool of endpoints that may serve the request
-	ID        string           // request ID chosen by the client, unique among its open requests
-	Request   balancer.Request // the engine sets Request.ID and Request.QueueTime
-	ArrivedAt monotime.Micros  // when the request had been received completely
-	HostData  any              // reserved for the host; the engine does not use it
+	Client *Client
+	Pool   *Pool  // pool of endpoints that may serve the request
+	ID     string // request ID chosen by the client, unique among its open requests
+	// GeneratedID is set if the client has not chosen the ID, so that no other request can have it.
+	GeneratedID bool
+	Request     balancer.Request // the engine sets Request.ID and Request.QueueTime
+	ArrivedAt   monotime.Micros  // when the request had been received completely
+	HostData    any              // reserved for the host; the engine does not use it
 
 	// NotReplayable reports whether the host has already sent a part of the request that it cannot send again;
 	// the request then gets no retry. nil means that the request can always be sent again.
@@ -66,6 +68,8 @@
 	attempts            []*Attempt
 	openAttempts        int            // attempts without an outcome
 	finished            bool           // the request has its final response, or its client has disconnected
+	clientGone          bool           // the client disconnected before the final response
+	mayHaveRun          bool           // an attempt with an outcome may have run
 	lastTimedOut        bool           // the latest outcome of an attempt was a timeout
 	lastResult          *AttemptResult // latest result that carried an endpoint's response; nil if none did
 	lastResultAttempt   int            // number of the attempt that lastResult belongs to
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,6 +5,7 @@
 // Client is a source of requests. Its requests share one account of the fair queue, and the IDs of its open
 // requests must be distinct. A client belongs to one engine, and is not safe for concurrent use.
 type Client struct {
+	name      string
 	account   *fairqueue.Client
 	openCalls map[string]*Call // by the request ID that the client chose; maintained by the engine
 }
@@ -15,7 +16,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{account: account, openCalls: map[string]*Call{}}, nil
+	return &Client{name: spec.Name, account: account, openCalls: map[string]*Call{}}, nil
 }
 
 // OpenCalls returns the number of the client's calls in the request table.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,9 +41,11 @@
 	dirtyPools    []*Pool          // pools whose queues may have decisions due
 	timers        indexedheap.Heap[*timer]
 	timerSequence uint64
-	openProbes    int       // probes started whose outcome is not known yet
-	stalls        stall.Log // intervals in which this process did not run
-	ready         bool      // the first ready endpoint was reported (Host.EndpointReady)
+	openProbes    int            // probes started whose outcome is not known yet
+	abandonedIDs  idReservations // of requests whose clients have left
+	inheritedIDs  idReservations // of requests that are open in the predecessor
+	stalls        stall.Log      // intervals in which this process did not run
+	ready         bool           // the first ready endpoint was reported (Host.EndpointReady)
 }
 
 // New returns an engine without pools. Tenant limits are divided statically between the instances until
@@ -67,12 +69,12 @@
 func (eng *Engine) Pools() int { return len(eng.pools) }
 
 // Submit accepts a client's request. The final response is given through Host.Respond. Submit gives it at once
-// if another request of the client with the same ID is open (DuplicateID), if the pool is closed, if the tenant
+// if another request of the client with the same ID is open or may still run (DuplicateID), if the pool is closed, if the tenant
 // is over its limit, or if overload control or the queue rejects the request; otherwise a later event gives it.
 func (eng *Engine) Submit(now monotime.Micros, c *Call) {
 	eng.now = now
 	switch {
-	case c.Client.openCalls[c.ID] != nil:
+	case eng.isReserved(now, c):
 		c.finished = true
 		eng.config.Host.Respond(c, Response{Verdict: DuplicateID})
 	case c.Pool.closed:
@@ -103,6 +105,7 @@
 		}
 		return
 	}
+	c.clientGone = true
 	eng.finishRequest(c)
 	eng.withdraw(now, c)
 	eng.dispatchQueued(now)
--- a/internal/engine/finalresponse.go
+++ b/internal/engine/finalresponse.go
@@ -92,6 +92,7 @@
 	}
 	delete(eng.calls, c.Request.ID)
 	delete(c.Client.openCalls, c.ID)
+	eng.reserveAbandoned(c)
 	c.Pool.queue.done(eng.now, c)
 	eng.markDirty(c.Pool)
 	c.Pool.openCalls--
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -15,6 +15,7 @@
 func (eng *Engine) Restore(now, age monotime.Micros, snapshot *Snapshot) (skipped []string) {
 	eng.now = now
 	eng.RestoreCoordination(now, age, snapshot.Fleet)
+	eng.restoreReservedIDs(now, age, snapshot.ReservedIDs)
 	for _, entry := range snapshot.Cordons {
 		eng.ReceiveCordon(now, entry)
 	}
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -27,6 +27,8 @@
 	// Maintenance is the maintenance plan in force, with times relative to the instant of the snapshot; nil
 	// without a plan.
 	Maintenance *MaintenancePlan `json:"Order,omitempty"`
+	// ReservedIDs are the IDs of requests that are open or may still run.
+	ReservedIDs []ReservedID `json:"ReservedIDs,omitempty"`
 }
 
 // Pool returns the snapshot of the pool with a given name, or nil.
@@ -91,7 +93,7 @@
 
 // Snapshot returns the state of the engine for a successor. The caller adds Fleet and Maintenance.
 func (eng *Engine) Snapshot(now monotime.Micros) *Snapshot {
-	s := &Snapshot{Cordons: eng.cordons.Records()}
+	s := &Snapshot{Cordons: eng.cordons.Records(), ReservedIDs: eng.reservedIDs(now)}
 	for _, p := range eng.pools {
 		if !p.closed {
 			s.Pools = append(s.Pools, *p.snapshot(now))
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -96,12 +96,13 @@
 	}
 }
 
-// filledSnapshot returns a snapshot in which every field has a non-zero value.
+// filledSnapshot returns a snapshot in which every field that the earlier build has is set to a non-zero value.
 func filledSnapshot(t *testing.T) *Snapshot {
 	t.Helper()
 	s := &Snapshot{}
 	next := 0
 	fillValue(t, reflect.ValueOf(s).Elem(), &next)
+	s.ReservedIDs = nil // unknown to the earlier build; TestReservedIDsEncodingIsStable
 	return s
 }
 
@@ -122,6 +123,18 @@
 	}
 }
 
+// The reserved IDs are encoded as the first build with them encoded them.
+func TestReservedIDsEncodingIsStable(t *testing.T) {
+	const want = `{"Pools":null,"Words":null,"ReservedIDs":[{"Client":"desk","ID":"visit-1","Remaining":250000}]}`
+	s := &Snapshot{ReservedIDs: []ReservedID{{Client: "desk", ID: "visit-1", Remaining: 250_000}}}
+	if got := encodeSnapshot(t, s); string(got) != want {
+		t.Errorf("encoded as %s, want %s", got, want)
+	}
+	if decoded := decodeSnapshot(t, []byte(want)); !reflect.DeepEqual(decoded, s) {
+		t.Errorf("decoded as %+v, want %+v", decoded, s)
+	}
+}
+
 // An empty snapshot is encoded as the earlier build encoded it: the same fields are omitted, and the same
 // fields are null.
 func TestEmptySnapshotEncodingIsStable(t *testing.T) {
--- a/internal/frontend/http1/routed_requests.go
+++ b/internal/frontend/http1/routed_requests.go
@@ -160,14 +160,15 @@
 	if rt.Deadline.Kind == FromHeader {
 		delete(out.Header, rt.Deadline.Name) // each attempt sets the field to the time left
 	}
-	id := rt.ensureRequestID(c, req, path, out.Header)
+	id, generated := rt.ensureRequestID(c, req, path, out.Header)
 	rt.setForwarded(c, req, out.Header)
 	rt.RequestEdits.apply(out.Header)
 	call := &core.Call{
-		Client:   c.client.engineClient,
-		Pool:     rt.Pool,
-		ID:       id,
-		Response: make(chan engine.Response, 1),
+		Client:      c.client.engineClient,
+		Pool:        rt.Pool,
+		ID:          id,
+		GeneratedID: generated,
+		Response:    make(chan engine.Response, 1),
 		Request: balancer.Request{
 			Class:       class,
 			Tenant:      s.tenantIndex(rt.Tenant.value(c, req, path)),
@@ -193,16 +194,17 @@
 
 // ensureRequestID returns the ID of a request. If the request has none, an ID is generated; if the route reads
 // the ID from a header, the generated ID is also set in the forwarded header.
-func (rt *Route) ensureRequestID(c *conn, req *http.Request, path string, forwarded http.Header) string {
-	id := rt.RequestID.value(c, req, path)
-	if id != "" {
-		return id
+func (rt *Route) ensureRequestID(
+	c *conn, req *http.Request, path string, forwarded http.Header,
+) (id string, generated bool) {
+	if id = rt.RequestID.value(c, req, path); id != "" {
+		return id, false
 	}
 	id = fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 	if rt.RequestID.Kind == FromHeader {
 		forwarded[rt.RequestID.Name] = []string{id}
 	}
-	return id
+	return id, true
 }
 
 // spareHeaderCapacity is the number of header fields for which space is allocated in addition to the client's
