Nothing is sent to another process that came up at an endpoint's address

Cause: an attempt that waits for a connection may be sent until the drain grace (200 ms) of its endpoint has passed, also when that is removed and another endpoint is listed at its address meanwhile; and an endpoint that moved kept attempts that dialed its old address. Checked beside it: idle connections belong to the endpoint's target and are closed when it goes; gossip and consensus messages name their recipient, and another instance at its address drops them (peers/membership.go).

--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -46,13 +46,14 @@
 	endpoint := a.Endpoint
 	deadline := a.Deadline
 	sendBefore := a.SendBefore
+	addressVersion := a.AddressVersion
 	return &AttemptContext{
 		Target:   endpoint.Target.(Target),
 		Deadline: deadline,
 		ClaimSend: func(now monotime.Micros) bool {
 			// During a slow dial, the drain grace, the deadline, or the dedup window of an idempotency key may
-			// have ended.
-			return endpoint.MaySend(now) && now < deadline && (sendBefore == 0 || now < sendBefore) &&
+			// have ended, and another process may have come up at the address.
+			return endpoint.MaySend(now) && endpoint.IsAt(addressVersion) && now < deadline && (sendBefore == 0 || now < sendBefore) &&
 				state.gate.claim()
 		},
 		OnAbort:     state.guard.attach,
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -49,6 +49,9 @@
 		StartedAt: act.now,
 		Deadline:  c.Request.Deadline,
 	}
+	if e != nil {
+		a.AddressVersion = e.addressVersion.Load()
+	}
 	if timeout > 0 {
 		a.timeoutAt = act.now + timeout
 		a.Deadline = min(a.Deadline, a.timeoutAt)
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -83,6 +83,8 @@
 	Endpoint   *Endpoint
 	StartedAt  monotime.Micros
 	Deadline   monotime.Micros // instant at which the attempt is abandoned
+	// AddressVersion is the version of the endpoint's address to which the attempt is sent.
+	AddressVersion AddressVersion
 	SendBefore monotime.Micros // the first byte must be written before this instant; 0 is no limit
 	HostData   any             // reserved for the host; the engine does not use it
 
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -8,8 +8,8 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Endpoint is an endpoint in the list of a pool's balancer. It belongs to its engine; only MaySend may be
-// called from other goroutines.
+// Endpoint is an endpoint in the list of a pool's balancer. It belongs to its engine; only MaySend and IsAt may
+// be called from other goroutines.
 type Endpoint struct {
 	Number uint32 // ID that the balancer uses for the endpoint
 	Name   string
@@ -20,6 +20,8 @@
 	excluded      bool         // cordoned, or excluded by the maintenance plan
 	utilization   float64      // moving average of the reported utilization, 0 to 1
 	stopSendingAt atomic.Int64 // instant in microseconds from which no attempt is sent; 0 is no limit
+
+	addressVersion atomic.Uint32 // AddressVersion of Addr
 }
 
 // MaySend reports whether an attempt may still be sent to the endpoint. The host calls it immediately before it
@@ -112,6 +114,7 @@
 			}
 		}
 	}
+	p.stopSendingToReusedAddresses(now)
 	p.balancer.UpdateEndpoints(now, update.Kind, entries)
 	// Map order is harmless here: only new endpoints change, and they have no requests yet.
 	for name, e := range p.byName {
@@ -143,9 +146,7 @@
 		p.byNumber[e.Number] = e
 	}
 	if info.Addr != "" && info.Addr != e.Addr {
-		e.Target.Drop()
-		e.Addr = info.Addr
-		e.Target = p.engine.config.Host.NewTarget(p.name, info.Addr)
+		e.moveTo(info.Addr, p.engine.config.Host.NewTarget(p.name, info.Addr))
 	}
 	if previous := p.endpointList[info.Name]; generationsReset && e.state == balancer.Draining &&
 		previous.StartedAt == info.StartedAt {
@@ -179,6 +180,7 @@
 	case e.state == balancer.Ready:
 		grace := p.engine.config.Site.Settings.Contract.DrainGrace
 		e.stopSendingAt.Store(max(1, now+grace-drainGraceMargin))
+		p.leaving = append(p.leaving, e)
 	}
 	e.state = state
 	if state == balancer.Gone {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -57,6 +57,7 @@
 
 	queue         *admissionQueue
 	concurrency   *concurrency.Limiter // nil if the concurrency limit is not learned
+	leaving       []*Endpoint          // endpoints in their drain grace: no longer ready, but attempts may be sent
 	queueTimer    *timer               // for the next expiry of a queued request; may be nil
 	queueTimerDue monotime.Micros      // instant at which queueTimer fires; 0 without a timer
 	dirty         bool                 // the pool is in Engine.dirtyPools
