--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -78,15 +78,15 @@
 // Attempt is one sending of a request to an endpoint. The balancer gets exactly one outcome for each attempt,
 // even if the host reports none or several.
 type Attempt struct {
-	Call       *Call
-	Number     int // index among the call's attempts, from 0; later attempts are retries or hedged requests
-	Endpoint   *Endpoint
-	StartedAt  monotime.Micros
-	Deadline   monotime.Micros // instant at which the attempt is abandoned
+	Call      *Call
+	Number    int // index among the call's attempts, from 0; later attempts are retries or hedged requests
+	Endpoint  *Endpoint
+	StartedAt monotime.Micros
+	Deadline  monotime.Micros // instant at which the attempt is abandoned
 	// AddressVersion is the version of the endpoint's address to which the attempt is sent.
 	AddressVersion AddressVersion
-	SendBefore monotime.Micros // the first byte must be written before this instant; 0 is no limit
-	HostData   any             // reserved for the host; the engine does not use it
+	SendBefore     monotime.Micros // the first byte must be written before this instant; 0 is no limit
+	HostData       any             // reserved for the host; the engine does not use it
 
 	deadlineTimer *timer
 	// timeoutAt is the end of the attempt's own timeout, not extended by stalls of this process; 0 is no
