Bodies of all clients take a quarter of the memory, and half of the processors, at most

Cause: each of them held up to 64 KiB for a buffered body, or 16 to 176 KiB for one that streams, bounded by the number of connections only. Above half of the memory the collector took the processor from requests; and transfers that each wait in between were not paused. Change: connlimit bounds the reserved bytes of all connections (memory/4); streamed bodies count; beyond it a request with a body gets 503 and responses stream through 4 KiB. The buffered part of a response is released once it is written. Transfers share half of the processors' time (decide/timeslice Transfer). The sidecar's collector works harder from three quarters of the memory on, not from half.

--- a/cmd/dunlinsail/flood_test.go
+++ b/cmd/dunlinsail/flood_test.go
@@ -1,21 +1,29 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"dunlinsail/internal/fake/floodclient"
 	"dunlinsail/internal/fake/require"
+	"dunlinsail/internal/fake/slowclients"
 )
 
-// floodMemoryMB is the memory limit of a sidecar that is flooded, in MiB.
-const floodMemoryMB = 96
+// Limits of a sidecar that is flooded.
+const (
+	floodMemoryMB = 96
+	floodSockets  = 512
+)
 
-// startFloodedSidecar starts a sidecar with two endpoints, and returns its address and its process.
-func startFloodedSidecar(t *testing.T) (addr string, p *process) {
+// startDisturbedSidecar starts a sidecar of the given program, with two endpoints and the given limits.
+func startDisturbedSidecar(
+	t *testing.T, program string, memoryMB, sockets int,
+) (p *process, server floodclient.ServerProcess) {
 	t.Helper()
 	h := newHost(t)
 	var instances []string
@@ -27,11 +35,17 @@
 	const payClass = `{"name":"pay","repeat":"side_effect","target":500000,"give-up":1000000,"credit":5.0},`
 	text := strings.Replace(sidecarConfig, placeholder, strings.Join(instances, ","), 1)
 	text = strings.Replace(text, `"classes":[`, `"classes":[`+payClass, 1)
-	limits := fmt.Sprintf(`{"limits":{"memory_mb":%d,"sockets":512},`, floodMemoryMB)
+	limits := fmt.Sprintf(`{"limits":{"memory_mb":%d,"sockets":%d},`, memoryMB, sockets)
 	text = strings.Replace(text, "{", limits, 1)
 	h.configPath = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(h.configPath, []byte(text), 0o600))
-	return h.addr, h.start().awaitReady()
+	p = h.startProgram(program).awaitReady()
+	return p, floodclient.ServerProcess{
+		Addr:      h.addr,
+		PID:       p.cmd.Process.Pid,
+		MaxMemory: memoryMB << 20,
+		SafeClass: "look",
+	}
 }
 
 // Guards against clients that get their answers late or never while others send small or malformed requests at full
@@ -39,9 +53,8 @@
 func TestFloodStarvesNoOtherClient(t *testing.T) {
 	for _, kind := range floodclient.Kinds() {
 		t.Run(kind.String(), func(t *testing.T) {
-			addr, p := startFloodedSidecar(t)
-			options := floodclient.Options{Addr: addr, Kind: kind, SafeClass: "look", UnsafeClass: "pay"}
-			floodclient.CheckOtherClient(t, options, p.cmd.Process.Pid, floodMemoryMB<<20)
+			p, server := startDisturbedSidecar(t, os.Args[0], floodMemoryMB, floodSockets)
+			floodclient.CheckFlooded(t, server, floodclient.Options{Kind: kind, UnsafeClass: "pay"})
 			if t.Failed() {
 				p.cmd.Process.Kill()
 				<-p.exited
@@ -50,3 +63,44 @@
 		})
 	}
 }
+
+// slowServedPercent is the part of another client's requests that has to be served beside slow clients (page FLEET, the
+// gate).
+const slowServedPercent = 50
+
+// socketsPerSlowClient divides the descriptors of a sidecar to get how many slow clients are connected at once. Half of
+// the descriptors are for clients, and some of these must be left for the other client.
+const socketsPerSlowClient = 3
+
+// Guards against a process that exceeds its memory limit, or answers late, while hundreds of clients write or read slowly
+// or have stopped.
+func TestSlowClientsInLittleMemory(t *testing.T) {
+	// Built without the race detector, with which a process needs several times as much memory.
+	program := filepath.Join(t.TempDir(), "dunlinsail")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, limits := range []struct{ memoryMB, sockets int }{{32, 256}, {48, 1024}, {192, 1024}} {
+		for _, kind := range slowclients.Kinds() {
+			t.Run(fmt.Sprintf("%d MB, %v", limits.memoryMB, kind), func(t *testing.T) {
+				p, server := startDisturbedSidecar(t, program, limits.memoryMB, limits.sockets)
+				defer func() {
+					if t.Failed() {
+						p.cmd.Process.Kill()
+						<-p.exited
+						t.Log(p.log.String())
+					}
+				}()
+				server.CheckOtherClient(t, slowServedPercent, func(ctx context.Context) {
+					slowclients.Run(ctx, slowclients.Options{
+						Addr:        server.Addr,
+						Kind:        kind,
+						Connections: limits.sockets / socketsPerSlowClient,
+						SafeClass:   server.SafeClass,
+						UnsafeClass: "pay",
+					})
+				})
+			})
+		}
+	}
+}
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -27,9 +27,9 @@
 		log.Error("cannot start", "error", err)
 		os.Exit(2)
 	}
-	// Garbage collection becomes more frequent above half of the memory; the platform kills a process that exceeds
-	// the full amount.
-	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
+	// Garbage is collected more often near this limit; the platform kills a process that exceeds the full amount.
+	// With less, collecting would take the processor from requests while many connections are open.
+	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 4 * 3)
 	// The signal handlers are never removed: the platform may send SIGTERM while this process exits after a
 	// handover, and the signal must not kill it.
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/dunlinsaild/flood_test.go
+++ b/cmd/dunlinsaild/flood_test.go
@@ -103,8 +103,13 @@
 			t.Run(setting.name+", "+kind.String(), func(t *testing.T) {
 				addr := scriptedpeer.ClosedAddress(t)
 				daemon := startProgram(t, "", writeConfig(t, setting.config(t, addr, setting.cores)))
-				options := floodclient.Options{Addr: addr, Kind: kind, SafeClass: "look", UnsafeClass: "pay"}
-				floodclient.CheckOtherClient(t, options, daemon.cmd.Process.Pid, floodMemoryMB<<20)
+				server := floodclient.ServerProcess{
+					Addr:      addr,
+					PID:       daemon.cmd.Process.Pid,
+					MaxMemory: floodMemoryMB << 20,
+					SafeClass: "look",
+				}
+				floodclient.CheckFlooded(t, server, floodclient.Options{Kind: kind, UnsafeClass: "pay"})
 				if t.Failed() {
 					daemon.cmd.Process.Kill()
 					<-daemon.exited
--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -197,6 +197,33 @@
 	}
 }
 
+// The reserved bytes of all owners together are limited, too.
+func TestReservedBytesOfAllOwnersAreBounded(t *testing.T) {
+	limits := testLimits
+	limits.MaxReservedBytes = 1000
+	table := newTestTable(t, limits)
+	connA, _ := table.Add(0, table.NewOwner(1, 100, 0), 1)
+	connB, _ := table.Add(0, table.NewOwner(1, 100, 0), 2)
+	if !table.ReserveBytes(connA, 700, false) || table.ReserveBytes(connB, 301, false) ||
+		!table.ReserveBytes(connB, 300, false) || !table.ReserveBytes(connB, 0, false) {
+		t.Fatal("want 700 and 300 of 1000 bytes reserved, but no more")
+	}
+	if !table.ReserveBytes(connA, 1, true) || !table.ReserveBytes(connB, 0, false) ||
+		table.ReserveBytes(connB, 1, false) {
+		t.Error("over the limit, want a response and a request without a body, but no other")
+	}
+	table.Remove(connA)
+	table.Remove(connA)
+	table.ReleaseBytes(connA)
+	if !table.ReserveBytes(connB, 700, false) || table.ReserveBytes(connB, 1, false) {
+		t.Error("the bytes of a removed connection were not released once")
+	}
+	table.ReleaseBytes(connB)
+	if !table.ReserveBytes(connB, 1000, false) {
+		t.Error("released bytes were not released")
+	}
+}
+
 // without returns a list of connections without the given connection.
 func without(conns []*Conn[int], c *Conn[int]) []*Conn[int] {
 	for i := range conns {
--- a/internal/decide/connlimit/settings.go
+++ b/internal/decide/connlimit/settings.go
@@ -6,11 +6,13 @@
 	"dunlinsail/internal/monotime"
 )
 
-// Limits are the limits of a Table. All except MinIdleTime must be positive.
+// Limits are the limits of a Table. All except MinIdleTime and MaxReservedBytes must be positive.
 type Limits struct {
 	MaxConnections int // greatest number of connections of all owners, idle or busy
 	MaxIdle        int // greatest number of idle connections of all owners; at most MaxConnections
 
+	MaxReservedBytes int64 // greatest number of bytes that are reserved for all connections; 0 is no limit
+
 	// MaxIdleTime is the idle timeout while there are hardly any idle connections. MinIdleTime is the idle
 	// timeout while MaxIdle connections are idle and the owner has used its share of them. Between these cases
 	// the timeout falls linearly (Table.idleTimeout).
@@ -25,6 +27,8 @@
 		return fmt.Errorf("total %d: must be positive", l.MaxConnections)
 	case l.MaxIdle < 1 || l.MaxIdle > l.MaxConnections:
 		return fmt.Errorf("at rest %d: must be in 1..%d, the total", l.MaxIdle, l.MaxConnections)
+	case l.MaxReservedBytes < 0:
+		return fmt.Errorf("reserved bytes %d: must not be negative", l.MaxReservedBytes)
 	case l.MaxIdleTime < 1 || l.MinIdleTime < 0 || l.MinIdleTime > l.MaxIdleTime:
 		return fmt.Errorf("idle %d..%d: must be a range that ends above 0", l.MinIdleTime, l.MaxIdleTime)
 	}
--- a/internal/decide/connlimit/table.go
+++ b/internal/decide/connlimit/table.go
@@ -17,6 +17,8 @@
 	busy        int          // number of connections with an open request
 	idle        int          // number of connections without an open request
 	connections map[*Conn[T]]struct{}
+
+	reservedBytes int64 // of all connections
 }
 
 // New returns an empty table, or an error if the limits are invalid. confirmIdle is called before a connection
@@ -111,21 +113,36 @@
 }
 
 // ReserveBytes reserves n more bytes for a connection until it becomes idle or is removed. If that exceeds the
-// limit of its owner, it reserves nothing and returns false, unless force is set: a response that has arrived
-// must be kept in memory.
+// limit of its owner or Limits.MaxReservedBytes, it reserves nothing and returns false, unless force is set: a
+// response that has arrived must be kept in memory.
 func (t *Table[T]) ReserveBytes(c *Conn[T], n int64, force bool) bool {
-	o := c.owner
-	if c.removed || !force && o.maxBytes > 0 && o.reservedBytes+n > o.maxBytes {
+	if c.removed || !force && t.exceedsBytes(c.owner, n) {
 		return false
 	}
 	c.reservedBytes += n
-	o.reservedBytes += n
+	c.owner.reservedBytes += n
+	t.reservedBytes += n
 	return true
 }
 
+// exceedsBytes reports whether n more bytes of an owner exceed a limit. Where nothing is reserved, only the limit of the
+// owner counts: bytes of other owners must not keep it from requests without a body.
+func (t *Table[T]) exceedsBytes(o *Owner[T], n int64) bool {
+	return o.maxBytes > 0 && o.reservedBytes+n > o.maxBytes ||
+		n > 0 && t.limits.MaxReservedBytes > 0 && t.reservedBytes+n > t.limits.MaxReservedBytes
+}
+
+// ReleaseBytes releases the bytes that are reserved for a connection, because they are no longer in memory.
+func (t *Table[T]) ReleaseBytes(c *Conn[T]) {
+	if !c.removed {
+		t.releaseBytes(c)
+	}
+}
+
 // releaseBytes releases all bytes that are reserved for a connection.
 func (t *Table[T]) releaseBytes(c *Conn[T]) {
 	c.owner.reservedBytes -= c.reservedBytes
+	t.reservedBytes -= c.reservedBytes
 	c.reservedBytes = 0
 }
 
--- a/internal/decide/timeslice/timeslice.go
+++ b/internal/decide/timeslice/timeslice.go
@@ -11,6 +11,12 @@
 	MaxRun = monotime.Millisecond / 2
 	// maxCountedRun bounds how long a run counts. A goroutine that has run for longer was preempted or has waited.
 	maxCountedRun = 10 * monotime.Millisecond
+	// maxTransferLead is how far transfers may be ahead of their share of the processors before they pause.
+	maxTransferLead = monotime.Millisecond
+	// pieceCost and bytesPerMicro estimate the processor time of one piece of a body: two system calls, and the
+	// copies into and out of the kernel.
+	pieceCost     = 20 * monotime.Millisecond / 1000
+	bytesPerMicro = 2000
 	// sharedProcessors is the divisor that leaves half of the processors' time to goroutines that do wait.
 	sharedProcessors = 2
 )
@@ -47,3 +53,14 @@
 	s.nextStart = start + sharedProcessors*length/monotime.Micros(max(1, processors))
 	return start
 }
+
+// Transfer returns the instant until which a goroutine pauses that has transferred a piece of a body, or 0 if it need not
+// pause. Many transfers keep the processors busy even if each of them waits in between, so their pieces count together.
+func (s *Scheduler) Transfer(now monotime.Micros, pieceBytes, processors int) (resumeAt monotime.Micros) {
+	cost := pieceCost + monotime.Micros(pieceBytes/bytesPerMicro)
+	s.nextStart = max(s.nextStart, now) + max(1, sharedProcessors*cost/monotime.Micros(max(1, processors)))
+	if s.nextStart-now <= maxTransferLead {
+		return 0
+	}
+	return s.nextStart
+}
--- a/internal/decide/timeslice/timeslice_test.go
+++ b/internal/decide/timeslice/timeslice_test.go
@@ -66,3 +66,37 @@
 		t.Errorf("the next goroutine starts after %d µs", start)
 	}
 }
+
+// Transfers get half of the processors' time together, however many they are, and none pauses below that.
+func TestTransfersShareHalfOfTheTime(t *testing.T) {
+	const (
+		pieceBytes = 48 << 10
+		cost       = pieceCost + pieceBytes/bytesPerMicro
+	)
+	for _, processors := range []int{1, 4} {
+		for _, transfers := range []int{1, 16, 400} {
+			var s Scheduler
+			resumeAt := make([]monotime.Micros, transfers)
+			var used monotime.Micros
+			for {
+				next := slices.Index(resumeAt, slices.Min(resumeAt))
+				endsAt := resumeAt[next] + cost
+				if endsAt > testPeriod {
+					break
+				}
+				used += cost
+				resumeAt[next] = max(endsAt, s.Transfer(endsAt, pieceBytes, processors))
+			}
+			most := testPeriod*monotime.Micros(processors)/2 + monotime.Micros(transfers)*cost + maxTransferLead
+			if used > most || transfers >= 16 && used < most/2 {
+				t.Errorf("%d transfers on %d processors used %d µs, want about %d", transfers, processors, used, most)
+			}
+		}
+	}
+	var s Scheduler
+	for now := monotime.Micros(0); now < testPeriod; now += 4 * cost {
+		if s.Transfer(now, pieceBytes, 1) != 0 {
+			t.Fatalf("a transfer that takes a quarter of the time pauses at %d", now)
+		}
+	}
+}
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -167,6 +167,13 @@
 	return m.table.ReserveBytes(c.tableEntry, byteCount, force)
 }
 
+// releaseBytes releases the reserved bytes of a connection, whose buffers are no longer in use.
+func (m *connManager) releaseBytes(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.ReleaseBytes(c.tableEntry)
+}
+
 // finishRequest marks a connection as idle after the response to its request, and reports whether it may stay open.
 // While the manager is closing, a connection stays open only if the next request has started to arrive on it.
 func (m *connManager) finishRequest(c *conn) bool {
--- a/internal/frontend/http1/request_body.go
+++ b/internal/frontend/http1/request_body.go
@@ -26,7 +26,7 @@
 	if !x.server.conns.reserveBytes(x.conn, rt.bytesToReserve(framing), false) {
 		return &requestError{
 			status:     http.StatusServiceUnavailable,
-			reason:     "refused: too many bytes of this client's requests are held",
+			reason:     "refused: too many bytes of requests are held",
 			retryAfter: byteLimitRetryAfter,
 			proxyError: proxyErrConnectionLimit,
 		}
@@ -41,7 +41,10 @@
 	return nil
 }
 
-// bytesToReserve returns the largest number of bytes of a request's body that may be buffered.
+// streamedBodyBytes is how many bytes of memory a body takes that streams, with its buffers and goroutines.
+const streamedBodyBytes = 48 << 10
+
+// bytesToReserve returns the largest number of bytes of memory that a request's body may take.
 func (rt *Route) bytesToReserve(framing http1msg.Framing) int64 {
 	switch {
 	case framing.Kind == http1msg.NoBody:
@@ -49,9 +52,9 @@
 	case framing.Kind == http1msg.FixedLength && framing.Length <= rt.MaxBufferedBytes:
 		return framing.Length
 	case framing.Kind == http1msg.FixedLength:
-		return 0
+		return streamedBodyBytes
 	}
-	return rt.MaxBufferedBytes
+	return max(rt.MaxBufferedBytes, streamedBodyBytes)
 }
 
 func (rt *Route) bodyTooLarge() error {
@@ -137,7 +140,11 @@
 	c := x.conn
 	idleTimeout := rt.UnsafePolicy.IdleTimeout
 	deadline := time.Now().Add(rt.StreamTimeout)
+	receivedBefore := c.input.arrival().Read
 	extendReadDeadline := func() {
+		received := c.input.arrival().Read
+		c.input.turn.Transfer(int(received - receivedBefore))
+		receivedBefore = received
 		readDeadline := time.Now().Add(idleTimeout)
 		if deadline.Before(readDeadline) {
 			readDeadline = deadline
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -19,6 +19,9 @@
 const (
 	// copyBufferSize is the size in bytes of the buffers with which streamed response bodies are copied.
 	copyBufferSize = 48 << 10
+	// smallCopyBufferSize is the size in bytes of such a buffer while the bodies of all requests and responses take as
+	// much memory as they may.
+	smallCopyBufferSize = 4 << 10
 	// forwardedHeadCapacity is the number of bytes that are allocated for the head of a forwarded response. A larger
 	// head grows the buffer.
 	forwardedHeadCapacity = 1024
@@ -26,6 +29,16 @@
 
 var copyBufferPool = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
+// takeCopyBuffer returns a buffer for a streamed response, whose size depends on the memory that is left, and a function
+// that releases it.
+func (x *exchange) takeCopyBuffer() (buffer []byte, release func()) {
+	if !x.server.conns.reserveBytes(x.conn, streamedBodyBytes, false) {
+		return make([]byte, smallCopyBufferSize), func() {}
+	}
+	pooled := copyBufferPool.Get().(*[copyBufferSize]byte)
+	return pooled[:], func() { copyBufferPool.Put(pooled) }
+}
+
 // Errors of a streamed response body that was not forwarded completely.
 var (
 	errClientWrite       = errors.New("writing the response to the client failed")
@@ -135,19 +148,14 @@
 		x.bodyLength = -1
 	}
 	x.closeAfter = x.closeAfter || x.server.isLastResponse(x.conn)
-	if isBuffered {
-		x.server.conns.reserveBytes(x.conn, int64(len(response.Buffered)), true)
-	} else {
+	x.server.conns.reserveBytes(x.conn, int64(len(response.Buffered)), true)
+	if !isBuffered {
 		defer response.Stream.Finish()
 	}
 	connection := response.Header["Connection"] // read before the edits, which may remove it
 	x.responseEdits.apply(response.Header)
 	framing := x.responseFraming(response)
-	buf := make([]byte, 0, forwardedHeadCapacity+len(response.Buffered))
-	buf = x.appendForwardedHead(buf, response, connection, framing)
-	buf = appendBufferedBody(buf, response, framing)
-	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
-	if _, err := x.conn.Write(buf); err != nil {
+	if !x.writeBufferedPart(response, connection, framing) {
 		return false
 	}
 	if !isBuffered && !x.streamRest(response.Stream, framing.chunked) {
@@ -156,6 +164,18 @@
 	return x.server.conns.finishRequest(x.conn) && !x.closeAfter
 }
 
+// writeBufferedPart writes the head of a response and the buffered part of its body, and releases that. It reports
+// whether the write succeeded.
+func (x *exchange) writeBufferedPart(response *upstream.Response, connection []string, framing outgoingFraming) bool {
+	buf := make([]byte, 0, forwardedHeadCapacity+len(response.Buffered))
+	buf = x.appendForwardedHead(buf, response, connection, framing)
+	buf = appendBufferedBody(buf, response, framing)
+	response.Buffered = nil // the client may take long to read it
+	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
+	_, err := x.conn.Write(buf)
+	return err == nil
+}
+
 // appendBufferedBody appends the buffered part of a response's body. If the body is chunked and complete, it also
 // appends the last chunk.
 func appendBufferedBody(buf []byte, response *upstream.Response, framing outgoingFraming) []byte {
@@ -228,17 +248,14 @@
 // errUpstreamTruncated if that fails. A slow client slows down the endpoint, because the next bytes are read from
 // the endpoint only after the write to the client.
 func (x *exchange) streamBody(rest *upstream.ResponseStream, chunked bool) error {
-	buf := copyBufferPool.Get().(*[copyBufferSize]byte)
-	defer copyBufferPool.Put(buf)
-	turn := x.conn.input.turn
+	x.server.conns.releaseBytes(x.conn) // what was buffered has been written
+	buf, release := x.takeCopyBuffer()
+	defer release()
 	for {
-		turn.Yield()
-		startedAt := turn.Start()
-		n, err := readAvailable(rest, http1msg.ChunkData(buf[:]))
-		turn.End(startedAt)
-		output := http1msg.ChunkData(buf[:])[:n]
+		n, err := readAvailable(rest, http1msg.ChunkData(buf))
+		output := http1msg.ChunkData(buf)[:n]
 		if n > 0 && chunked {
-			output = http1msg.FrameChunk(buf[:], n)
+			output = http1msg.FrameChunk(buf, n)
 		}
 		bodyEnded := errors.Is(err, io.EOF)
 		if bodyEnded && chunked {
@@ -253,6 +270,7 @@
 		if bodyEnded {
 			return nil
 		}
+		x.conn.input.turn.Transfer(n)
 		if err != nil {
 			return errUpstreamTruncated
 		}
--- a/internal/sidecar/limits_test.go
+++ b/internal/sidecar/limits_test.go
@@ -48,7 +48,7 @@
 	openStatus := s.requestInBackground(t, request("POST", "/pay", "pay", 1000, "x"))
 	scriptedpeer.Receive(t, received, "attempt")
 	var silentConns []net.Conn
-	for range 2 * clientLimits(cfg.Sockets).MaxConnections {
+	for range 2 * clientLimits(cfg.Sockets, cfg.MemoryMB).MaxConnections {
 		silentConns = append(silentConns, s.dial(t))
 	}
 	activeConn := s.dial(t)
@@ -85,7 +85,7 @@
 	}
 	cfg := configureStatic(t, endpoints)
 	cfg.Sockets = 2 * platform.MinSockets
-	limits := clientLimits(cfg.Sockets)
+	limits := clientLimits(cfg.Sockets, cfg.MemoryMB)
 	if 4*limits.MaxIdle > cfg.Sockets {
 		t.Fatalf("%d of %d descriptors may be idle: want at most a quarter",
 			limits.MaxIdle, cfg.Sockets)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,8 +43,11 @@
 	// clients' machine has its own limit on connections, and each idle connection that is kept open reduces the
 	// number of connections that other clients on that machine can open.
 	idleConnsDivisor = 6
-	maxIdleTime      = 15 * time.Second       // idle timeout of a client connection while no other is idle
-	minIdleTime      = 100 * time.Millisecond // idle timeout of a client connection at the limit on idle ones
+	// bodyMemoryDivisor limits what the bodies of requests and responses take to 1/4 of the memory; garbage and all
+	// else need the rest.
+	bodyMemoryDivisor = 4
+	maxIdleTime       = 15 * time.Second       // idle timeout of a client connection while no other is idle
+	minIdleTime       = 100 * time.Millisecond // idle timeout of a client connection at the limit on idle ones
 )
 
 // Timeouts for discovery that pushes endpoint lists. Such a discovery is an agent on this machine, and requests to
@@ -68,18 +71,22 @@
 // clientLimits returns the limits on client connections. They may use half of the unreserved descriptors. The
 // other half is for connections to endpoints: an open request uses one connection to the client and one to an
 // endpoint, and health checks and hedged requests need additional connections to endpoints.
-func clientLimits(sockets int) connlimit.Limits {
+func clientLimits(sockets, memoryMB int) connlimit.Limits {
 	return connlimit.Limits{
-		MaxConnections: (sockets - reservedSockets) / 2,
-		MaxIdle:        (sockets - reservedSockets) / idleConnsDivisor,
-		MaxIdleTime:    clock.Micros(maxIdleTime),
-		MinIdleTime:    clock.Micros(minIdleTime),
+		MaxReservedBytes: int64(memoryMB) << 20 / bodyMemoryDivisor,
+		MaxConnections:   maxClientConns(sockets),
+		MaxIdle:          (sockets - reservedSockets) / idleConnsDivisor,
+		MaxIdleTime:      clock.Micros(maxIdleTime),
+		MinIdleTime:      clock.Micros(minIdleTime),
 	}
 }
 
+// maxClientConns returns the maximum number of open client connections.
+func maxClientConns(sockets int) int { return (sockets - reservedSockets) / 2 }
+
 // upstreamConns returns the maximum number of open connections to endpoints.
 func upstreamConns(sockets int) int {
-	return sockets - reservedSockets - clientLimits(sockets).MaxConnections
+	return sockets - reservedSockets - maxClientConns(sockets)
 }
 
 // Run serves until stop ends or another process has taken over, then finishes the open requests and returns. At
@@ -197,7 +204,7 @@
 		Core:        s.core,
 		Pool:        s.endpointPool,
 		SendAttempt: s.connPool.Send,
-		Limits:      clientLimits(availableSockets(c)),
+		Limits:      clientLimits(availableSockets(c), c.MemoryMB),
 		Processors:  s.processors,
 		Log:         s.log,
 	})
--- a/internal/timesharing/timesharing.go
+++ b/internal/timesharing/timesharing.go
@@ -18,6 +18,9 @@
 // takes some microseconds.
 const minWait = monotime.Millisecond / 10
 
+// minLoggedPause is the shortest pause that is logged.
+const minLoggedPause = 2 * monotime.Millisecond
+
 // logInterval is the shortest time between two log lines about pauses.
 const logInterval = time.Second
 
@@ -50,7 +53,14 @@
 func (p *Processors) pause(now, run monotime.Micros, client string) {
 	p.mu.Lock()
 	length := p.scheduler.NextStart(now, run, runtime.GOMAXPROCS(0)) - now
-	mustLog := now >= p.nextLog
+	p.mu.Unlock()
+	p.sleep(now, length, client)
+}
+
+// sleep sleeps for the given length from the instant now, and counts and logs the pause.
+func (p *Processors) sleep(now, length monotime.Micros, client string) {
+	p.mu.Lock()
+	mustLog := length >= minLoggedPause && now >= p.nextLog
 	if mustLog {
 		p.nextLog = now + clock.Micros(logInterval)
 	}
@@ -103,6 +113,23 @@
 	t.restart(t.processors.clock.Now())
 }
 
+// Transfer records that a piece of a body has been transferred, and pauses the goroutine if all transfers together take
+// more than their share of the processors.
+func (t *Turn) Transfer(pieceBytes int) {
+	if t.processors == nil {
+		return
+	}
+	p := t.processors
+	now := p.clock.Now()
+	p.mu.Lock()
+	resumeAt := p.scheduler.Transfer(now, pieceBytes, runtime.GOMAXPROCS(0))
+	p.mu.Unlock()
+	if resumeAt > now {
+		p.sleep(now, resumeAt-now, t.client)
+		t.Waited()
+	}
+}
+
 // Start returns the instant at which a call starts that may block, for End.
 func (t *Turn) Start() monotime.Micros {
 	if t.processors == nil {
