Clients that are rejected and connect again do not keep others from their answers

Cause: a rejected request's connection lingers up to 0.2 s for its client to read the response, and counts as idle like one whose request is about to arrive: with more than a sixth of the descriptors open, new ones were evicted for it. Rejecting took as much of the processor as clients wanted. Change: a connection with its last response is evicted first (connlimit MarkAnswered); rejecting pauses first, in turn with others, so that half of the processors' time is left.

--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -224,6 +224,33 @@
 	}
 }
 
+// Guards against a new connection, whose request is about to arrive, being evicted while connections are still open whose
+// clients have got their last response.
+func TestAnsweredConnectionIsEvictedFirst(t *testing.T) {
+	table := newTestTable(t, testLimits)
+	o := table.NewOwner(1, 100, 0)
+	var conns []*Conn[int]
+	for i := range testLimits.MaxIdle {
+		c, _ := table.Add(int64(i), o, i)
+		conns = append(conns, c)
+	}
+	last := conns[len(conns)-1]
+	table.MarkAnswered(last)
+	table.MarkAnswered(last)
+	if _, evicted := table.Add(9, o, 9); evicted != last {
+		t.Errorf("evicted: %+v, want the connection with its last response", evicted)
+	}
+	if _, evicted := table.Add(10, o, 10); evicted != conns[0] {
+		t.Errorf("evicted: %+v, want the longest idle connection", evicted)
+	}
+	table.MarkAnswered(conns[0])
+	table.MarkBusy(conns[1])
+	table.MarkAnswered(conns[1])
+	if got := table.Evictable(); got == conns[0] || got == conns[1] {
+		t.Errorf("evictable: connection %d, which is removed or busy", got.Value)
+	}
+}
+
 // without returns a list of connections without the given connection.
 func without(conns []*Conn[int], c *Conn[int]) []*Conn[int] {
 	for i := range conns {
--- a/internal/decide/connlimit/eviction.go
+++ b/internal/decide/connlimit/eviction.go
@@ -2,9 +2,17 @@
 
 import "dunlinsail/internal/monotime"
 
-// Evictable returns the idle connection to evict first (evictionCandidate), after the caller has confirmed that
-// it is idle. It returns nil if all connections have an open request.
+// Evictable returns the connection to evict first: one that MarkAnswered has marked, or else the result of NextIdle.
 func (t *Table[T]) Evictable() *Conn[T] {
+	if first := t.answered.Front(); first != nil {
+		return first.Value.(*Conn[T])
+	}
+	return t.NextIdle()
+}
+
+// NextIdle returns the idle connection to close first (evictionCandidate), after the caller has confirmed that it is
+// idle. It returns nil if all connections have an open request.
+func (t *Table[T]) NextIdle() *Conn[T] {
 	for {
 		candidate := t.evictionCandidate()
 		if candidate == nil || t.confirmIdle(candidate.Value) {
--- a/internal/decide/connlimit/owner.go
+++ b/internal/decide/connlimit/owner.go
@@ -32,6 +32,8 @@
 	idleSince     monotime.Micros
 	idleElement   *list.Element // element of owner.idle; nil while a request is open
 	removed       bool          // the connection was removed from the table
+
+	answeredElement *list.Element // element of Table.answered; nil unless MarkAnswered was called
 }
 
 // IdleTime returns how long an idle connection, or a connection that was removed while idle, has been idle.
--- a/internal/decide/connlimit/table.go
+++ b/internal/decide/connlimit/table.go
@@ -18,7 +18,8 @@
 	idle        int          // number of connections without an open request
 	connections map[*Conn[T]]struct{}
 
-	reservedBytes int64 // of all connections
+	reservedBytes int64      // of all connections
+	answered      *list.List // idle connections (*Conn[T]) that MarkAnswered has marked, in that order
 }
 
 // New returns an empty table, or an error if the limits are invalid. confirmIdle is called before a connection
@@ -31,7 +32,8 @@
 	if confirmIdle == nil {
 		confirmIdle = func(T) bool { return true }
 	}
-	return &Table[T]{limits: l, confirmIdle: confirmIdle, connections: map[*Conn[T]]struct{}{}}, nil
+	return &Table[T]{limits: l, confirmIdle: confirmIdle, connections: map[*Conn[T]]struct{}{},
+		answered: list.New()}, nil
 }
 
 // NewOwner returns a new owner with at most maxConnections connections and maxBytes reserved bytes; 0 bytes
@@ -95,6 +97,14 @@
 	return true
 }
 
+// MarkAnswered records that the last response on an idle connection has been written, so that it is evicted before all
+// others: its client has its response, and a connection on which a request may be about to arrive is kept instead.
+func (t *Table[T]) MarkAnswered(c *Conn[T]) {
+	if !c.removed && c.idleElement != nil && c.answeredElement == nil {
+		c.answeredElement = t.answered.PushBack(c)
+	}
+}
+
 // MarkIdle records that the request on a connection has its response, and releases the reserved bytes of the
 // connection. If Limits.MaxIdle connections are already idle, it evicts one of them and returns it: the caller
 // must close it. Otherwise it returns nil.
@@ -152,6 +162,9 @@
 		return
 	}
 	c.removed = true
+	if c.answeredElement != nil {
+		t.answered.Remove(c.answeredElement)
+	}
 	delete(t.connections, c)
 	t.releaseBytes(c)
 	if c.idleElement != nil {
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -15,6 +15,7 @@
 type conn struct {
 	net.Conn
 	client    *Client
+	manager   *connManager // nil in tests of a single connection
 	input     *peekableConn
 	readLimit io.LimitedReader // limits how many bytes are still read from input for the current request
 	buffer    *bufio.Reader    // nil while nothing is being read, so that idle connections use no buffer
@@ -82,9 +83,14 @@
 	return c.Conn.Write(b)
 }
 
-// reject writes the last response on the connection. The request may not have been read completely.
+// reject writes the last response on the connection, after a pause: clients that connect again at once must not keep
+// others from their responses. The request may not have been read completely.
 func (c *conn) reject(response *localResponse) {
+	c.input.turn.Pause()
 	c.writeResponse(response, true)
+	if c.manager != nil {
+		c.manager.markAnswered(c)
+	}
 	c.linger()
 }
 
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -63,7 +63,7 @@
 	if onClose == nil {
 		onClose = func() {}
 	}
-	c := &conn{Conn: netConn, client: client, input: newPeekableConn(netConn, m.processors.NewTurn(client.Name))}
+	c := &conn{Conn: netConn, client: client, manager: m, input: newPeekableConn(netConn, m.processors.NewTurn(client.Name))}
 	c.readLimit.R = c.input
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -167,6 +167,13 @@
 	return m.table.ReserveBytes(c.tableEntry, byteCount, force)
 }
 
+// markAnswered records that the last response on a connection has been written.
+func (m *connManager) markAnswered(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.MarkAnswered(c.tableEntry)
+}
+
 // releaseBytes releases the reserved bytes of a connection, whose buffers are no longer in use.
 func (m *connManager) releaseBytes(c *conn) {
 	m.mu.Lock()
@@ -199,7 +206,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.closing = true
-	for entry := m.table.Evictable(); entry != nil; entry = m.table.Evictable() {
+	for entry := m.table.NextIdle(); entry != nil; entry = m.table.NextIdle() {
 		m.closeWithReasonLocked(entry, closedDraining)
 	}
 }
--- a/internal/timesharing/timesharing.go
+++ b/internal/timesharing/timesharing.go
@@ -113,6 +113,19 @@
 	t.restart(t.processors.clock.Now())
 }
 
+// Pause pauses the goroutine, however short it has run.
+func (t *Turn) Pause() {
+	if t.processors == nil {
+		return
+	}
+	now := t.processors.clock.Now()
+	t.mu.Lock()
+	length, _ := t.slice.Run(now)
+	t.mu.Unlock()
+	t.processors.pause(now, length, t.client)
+	t.restart(t.processors.clock.Now())
+}
+
 // Transfer records that a piece of a body has been transferred, and pauses the goroutine if all transfers together take
 // more than their share of the processors.
 func (t *Turn) Transfer(pieceBytes int) {
