A long response is not cut off while its client is reading it slowly

Cause: each write of a piece to the client had the idle time (10 s by class). A blocked write goes on only once a third of the kernel's send buffer is free, up to more than a megabyte: a client that reads 64 kB a second takes longer than that, and was reset. Evidence: TestSlowReaderIsNotCutOff: with idle = 1s and 400 kB a second the response was reset after 0.46 of 24 MB. Change: package sockwrite has the loop that uploads to slow endpoints had (writeBodyPiece): the idle time counts from the last progress, that is bytes written, or acknowledged by the client's host. Responses use it, too; the upstream package uses it in place of its own. Why it works: only a client that takes nothing for the idle time has stopped.

--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dunlinsail/internal/decide/connlimit"
+	"dunlinsail/internal/sockwrite"
 )
 
 // conn is a client's connection. Unless a field's comment says otherwise, only the goroutine that serves the
@@ -83,6 +84,12 @@
 	return c.Conn.Write(b)
 }
 
+// writePatiently writes to the connection, and fails only if the client takes nothing for idleTimeout.
+func (c *conn) writePatiently(b []byte, idleTimeout time.Duration) error {
+	write := sockwrite.Write{Conn: c, Raw: c.input.rawConn, IdleTimeout: idleTimeout}
+	return write.Do(b)
+}
+
 // reject writes the last response on the connection, after a pause: clients that connect again at once must not keep
 // others from their responses. The request may not have been read completely.
 func (c *conn) reject(response *localResponse) {
--- a/internal/frontend/http1/response.go
+++ b/internal/frontend/http1/response.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"dunlinsail/internal/clock"
 	"dunlinsail/internal/engine"
@@ -171,9 +170,7 @@
 	buf = x.appendForwardedHead(buf, response, connection, framing)
 	buf = appendBufferedBody(buf, response, framing)
 	response.Buffered = nil // the client may take long to read it
-	x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
-	_, err := x.conn.Write(buf)
-	return err == nil
+	return x.conn.writePatiently(buf, x.idleTimeout) == nil
 }
 
 // appendBufferedBody appends the buffered part of a response's body. If the body is chunked and complete, it also
@@ -262,8 +259,7 @@
 			output = http1msg.AppendLastChunk(output, rest.Trailer())
 		}
 		if len(output) > 0 {
-			x.conn.SetWriteDeadline(time.Now().Add(x.idleTimeout))
-			if _, writeErr := x.conn.Write(output); writeErr != nil {
+			if x.conn.writePatiently(output, x.idleTimeout) != nil {
 				return errClientWrite
 			}
 		}
--- a/internal/upstream/forwardbody.go
+++ b/internal/upstream/forwardbody.go
@@ -8,13 +8,11 @@
 	"dunlinsail/internal/http1msg"
 	"dunlinsail/internal/monotime"
 	"dunlinsail/internal/sockqueue"
+	"dunlinsail/internal/sockwrite"
 )
 
 // This file forwards request bodies that are streamed.
 
-// writePollInterval is how often the progress of a blocked write is checked.
-const writePollInterval = 50 * time.Millisecond
-
 // forwardBody forwards the streaming body, and then closes bodyWritten.
 func (e *exchange) forwardBody() {
 	complete := e.writeBody()
@@ -74,31 +72,19 @@
 // writeBodyPiece writes a piece of the streaming body, and reports whether it has been written. An endpoint that takes
 // nothing for the idle timeout of the policy ends the attempt, unless it has responded.
 func (e *exchange) writeBodyPiece(piece []byte) bool {
-	unacknowledged := sockqueue.Unacknowledged(e.conn.raw)
-	idleAt := time.Now().Add(e.request.Policy.IdleTimeout)
-	for time.Now().Before(idleAt) {
-		e.conn.SetWriteDeadline(time.Now().Add(writePollInterval))
-		if e.request.Stream.aborted.Load() {
-			return false // finish may have set its deadline before, which this one has replaced
-		}
-		n, err := e.conn.Write(piece)
-		e.request.Stream.forwarded.Add(int64(n))
-		if !isTimeout(err) {
-			return err == nil
-		}
-		piece = piece[n:]
-		// The kernel lets a blocked write go on only once a large part of its buffer is free, which takes a slow
-		// endpoint longer than the idle timeout. Until then, the endpoint's progress shows in the unacknowledged bytes.
-		previous := unacknowledged
-		unacknowledged = sockqueue.Unacknowledged(e.conn.raw)
-		if n > 0 || unacknowledged != previous {
-			idleAt = time.Now().Add(e.request.Policy.IdleTimeout)
-		}
+	stream := e.request.Stream
+	write := sockwrite.Write{
+		Conn:        e.conn,
+		Raw:         e.conn.raw,
+		IdleTimeout: e.request.Policy.IdleTimeout,
+		OnWritten:   func(n int) { stream.forwarded.Add(int64(n)) },
+		Aborted:     stream.aborted.Load, // finish may have set its deadline before, which each further one replaces
 	}
-	if !e.headRead.Load() {
+	err := write.Do(piece)
+	if isTimeout(err) && !e.headRead.Load() {
 		e.responseTimer.expire()
 	}
-	return false
+	return err == nil
 }
 
 // bodySent records that the last byte of the streaming body has been written.
