Log and count final responses that come late, with where the time went

Change: log line 'response late' (id, class, verdict, late_ms, queue_ms, attempts, endpoint), at most one a second with the number of others; metric late_responses of both programs.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -97,6 +97,7 @@
 		writeMetric("client_pauses", pauses)
 		writeMetric("client_paused_ms", uint64(pausedTime.Milliseconds()))
 	}
+	writeMetric("late_responses", g.frontend.LateResponses())
 	for _, closed := range g.frontend.ClosedConnections() {
 		writeMetric("client_connections_closed."+closed.Reason, closed.Count)
 	}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -34,6 +34,12 @@
 	DuplicateID         // not accepted: another request of the client with this ID is open or may still run
 )
 
+// verdictNames are the names of the verdicts in the log.
+var verdictNames = [...]string{"served", "rejected", "rate limited", "failed", "timed out", "duplicate ID"}
+
+// String returns the verdict's name in the log.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Response is the final response to a request.
 type Response struct {
 	Verdict    Verdict
--- a/internal/frontend/http1/exchange.go
+++ b/internal/frontend/http1/exchange.go
@@ -108,6 +108,7 @@
 	if !ok {
 		return false
 	}
+	x.server.observeLateness(call, &response)
 	watch.stop()
 	// An attempt that has been canceled must not start to read from the client after this point.
 	attempted := stream != nil && !stream.Withhold()
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -77,6 +77,7 @@
 	responseDeadline atomic.Int64           // monotime.Micros; 0 if only the requests' own deadlines apply
 	routes           atomic.Pointer[Routes] // nil if requests are served by class
 	outcomes         outcomeCounter
+	late             lateResponses
 	classRoutes      []Route // by class; used while no routes are set
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -36,6 +36,7 @@
 	pauses, pausedTime := s.processors.Pauses()
 	appendMetric("client_pauses", pauses)
 	appendMetric("client_paused_ms", uint64(pausedTime.Milliseconds()))
+	appendMetric("late_responses", s.frontend.LateResponses())
 	appendMetric("relayed", forwarded)
 	appendMetric("open_requests", uint64(openRequests))
 	appendMetric("registry_entries", uint64(statistics.ListedEndpoints))
