A burst of clients with a request each is not slowed down by the pauses

Cause: a connection's run was measured by the clock, and includes the time in which others ran. In a burst of 150 connections with a request each, some were paused after their first read, for up to 10 ms each and one after another, though none kept the processor. Change: a connection pauses only after eight reads or requests without a wait, and a run counts for 4 ms at most.

--- a/internal/decide/timeslice/timeslice.go
+++ b/internal/decide/timeslice/timeslice.go
@@ -10,7 +10,10 @@
 	// MaxRun is how long a goroutine may run without waiting.
 	MaxRun = monotime.Millisecond / 2
 	// maxCountedRun bounds how long a run counts. A goroutine that has run for longer was preempted or has waited.
-	maxCountedRun = 10 * monotime.Millisecond
+	maxCountedRun = 4 * monotime.Millisecond
+	// minSteps is how many steps of work a goroutine has done at least before it pauses. With fewer, it has run for long
+	// because others have: a burst of clients with a request each must not be slowed down.
+	minSteps = 8
 	// maxTransferLead is how far transfers may be ahead of their share of the processors before they pause.
 	maxTransferLead = monotime.Millisecond
 	// pieceCost and bytesPerMicro estimate the processor time of one piece of a body: two system calls, and the
@@ -24,19 +27,25 @@
 // Slice measures for how long a goroutine has run without waiting. The zero Slice has not started.
 type Slice struct {
 	startedAt monotime.Micros
+	steps     int
 }
 
 // Restart records that the goroutine has waited until the instant now.
-func (s *Slice) Restart(now monotime.Micros) { s.startedAt = now }
+func (s *Slice) Restart(now monotime.Micros) {
+	s.startedAt = now
+	s.steps = 0
+}
 
-// Run returns for how long the goroutine has run at the instant now, and whether that is MaxRun or more. The first call
-// starts the slice.
-func (s *Slice) Run(now monotime.Micros) (length monotime.Micros, usedUp bool) {
+// Step records that the goroutine has done a step of its work without waiting: it has read once, or served a request. It
+// returns for how long the goroutine has run at the instant now, and whether it must pause: after MaxRun and minSteps.
+// The first call starts the slice.
+func (s *Slice) Step(now monotime.Micros) (length monotime.Micros, usedUp bool) {
 	if s.startedAt == 0 {
 		s.startedAt = now
 	}
+	s.steps++
 	length = now - s.startedAt
-	return length, length >= MaxRun
+	return length, length >= MaxRun && s.steps >= minSteps
 }
 
 // Scheduler selects the instants at which goroutines that have used up their slices run again. The zero Scheduler has
--- a/internal/timesharing/timesharing.go
+++ b/internal/timesharing/timesharing.go
@@ -104,7 +104,7 @@
 	}
 	now := t.processors.clock.Now()
 	t.mu.Lock()
-	length, usedUp := t.slice.Run(now)
+	length, usedUp := t.slice.Step(now)
 	t.mu.Unlock()
 	if !usedUp {
 		return
@@ -120,7 +120,7 @@
 	}
 	now := t.processors.clock.Now()
 	t.mu.Lock()
-	length, _ := t.slice.Run(now)
+	length, _ := t.slice.Step(now)
 	t.mu.Unlock()
 	t.processors.pause(now, length, t.client)
 	t.restart(t.processors.clock.Now())
