--- a/internal/experiment/soak/process.go
+++ b/internal/experiment/soak/process.go
@@ -20,9 +20,9 @@
 const (
 	readyTimeout      = 6 * time.Second      // how long a new process may take until it serves
 	readyPollInterval = 5 * time.Millisecond // interval at which readiness is polled
-	// killAfter is how long after SIGTERM the platform kills a process at the earliest: the longest deadline,
-	// which is at most 3 s, plus 0.7 s.
-	killAfter = 3700 * time.Millisecond
+	// killAfter is how long after SIGTERM the platform kills a process at the earliest: the longest deadline of the
+	// configurations plus 0.7 s.
+	killAfter = requestTimeout + 700*time.Millisecond
 )
 
 // daemonProgram is the file name of the daemon, whose configuration format differs from the sidecar's.
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -45,9 +45,11 @@
 	eventSeedStream     = 50 // draws the events and the request rate
 	faultSeedStream     = 51 // draws the endpoints' faults
 	variationSeedStream = 52 // draws the variation
+	floodSeedStream     = 53 // draws the flood
 )
 
 const (
+	requestTimeout    = 900 * time.Millisecond // longest deadline, equal to the one in the configurations
 	requestRate       = 120.0                  // requests per second
 	highRequestRate   = 400.0                  // requests per second in a run with high load
 	delayBeforeEvents = 300 * time.Millisecond // time between the start of the load and the first event
@@ -68,6 +70,7 @@
 	report    *Report
 
 	startedAt time.Time
+	flood     flood
 
 	mu             sync.Mutex
 	results        []client.Result
@@ -101,6 +104,10 @@
 	if filepath.Base(options.Program) == daemonProgram {
 		r.report.Variation += ", " + drawn.bounds.String()
 	}
+	r.flood = drawFlood(rand.New(rand.NewPCG(options.Seed, floodSeedStream)))
+	if r.flood.connections > 0 {
+		r.recordEvent("%v", &r.flood)
+	}
 	r.fleet, err = startFleet(rand.New(rand.NewPCG(options.Seed, faultSeedStream)), drawn.secondResponses)
 	if err != nil {
 		return nil, err
@@ -137,10 +144,16 @@
 		defer close(loadDone)
 		loadClient.Run(loadContext)
 	}()
+	floodDone := make(chan struct{})
+	go func() {
+		defer close(floodDone)
+		r.flood.run(loadContext, r.processes.clientAddr)
+	}()
 	serving := r.runEvents(ctx, firstProcess)
 	r.stopServing(serving)
 	stopLoad()
 	<-loadDone
+	<-floodDone
 	return ctx.Err()
 }
 
@@ -152,7 +165,6 @@
 		rate = highRequestRate
 		r.recordEvent("a crowd")
 	}
-	const timeout = 900 * time.Millisecond
 	return client.New(client.Options{
 		Name:     "soak",
 		Tenant:   "acme",
@@ -166,9 +178,9 @@
 		Dial:             r.dial,
 		OnDone:           r.addResult,
 		Classes: []client.Class{
-			{Name: "look", Share: 0.6, Method: "GET", Timeout: timeout},
-			{Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 200, Timeout: timeout},
-			{Name: "pay", Share: 0.2, Method: "POST", BodySize: 200, Timeout: timeout},
+			{Name: "look", Share: 0.6, Method: "GET", Timeout: requestTimeout},
+			{Name: "book", Share: 0.2, Method: "POST", SendIdempotencyKey: true, BodySize: 200, Timeout: requestTimeout},
+			{Name: "pay", Share: 0.2, Method: "POST", BodySize: 200, Timeout: requestTimeout},
 		},
 	})
 }
