Recurring stalls prolong the catch-up for up to 150 ms

Change: a stall during an open catch-up prolongs it for up to 150 ms after it was opened; then it keeps its latest end as before.

--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -12,6 +12,9 @@
 	maxCatchUpTime = 20 * monotime.Millisecond
 	catchUpDivisor = 4
 
+	// maxOpenTime is the time for which stalls during the catch-up prolong it.
+	maxOpenTime = 150 * monotime.Millisecond
+
 	// quietTime is the time without any event after which the core ends its catch-up.
 	quietTime = 2 * monotime.Millisecond
 )
@@ -21,6 +24,7 @@
 // Otherwise the core would decide on new requests as if attempts were in flight whose responses arrived long
 // ago.
 type catchUp struct {
+	openedAt  monotime.Micros // instant at which the catch-up was opened
 	open      bool            // the catch-up has started, and its deferred events have not been handled
 	endsAt    monotime.Micros // instant at which the catch-up ends
 	latestEnd monotime.Micros // latest instant to which endsAt may be extended
@@ -28,13 +32,17 @@
 	deferred []queuedEvent
 }
 
-// stalled records a stall that has just ended. It starts a catch-up, unless the stall has interrupted one: that keeps
+// stalled records a stall that has just ended. It starts a catch-up, or prolongs the open one: where stalls recur, the
+// responses that arrived during each of them are still to be read. A catch-up that has been open for maxOpenTime keeps
 // its latest end, so that recurring stalls delay no event and no timer without bound.
 func (c *catchUp) stalled(interval stall.Interval) {
-	if c.open {
+	if c.open && interval.To-c.openedAt >= maxOpenTime {
 		c.endsAt = min(c.latestEnd, interval.To+quietTime)
 		return
 	}
+	if !c.open {
+		c.openedAt = interval.To
+	}
 	c.start(interval)
 }
 
