Deferred events are handled before the next one, not behind it

Cause: the order of deferred events was kept by deferring later ones, too, until the loop's next step. In a burst they were all decided at once then, before the responses of the first had been read. Change: an event that arrives as the catch-up ends has the deferred ones handled first, and is handled right behind them.

--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -64,10 +64,6 @@
 // active reports whether the core is catching up at the instant now.
 func (c *catchUp) active(now monotime.Micros) bool { return now < c.endsAt }
 
-// mustDefer reports whether a deferrable event that is received at the instant now must be deferred: during the
-// catch-up, and behind it as long as earlier events are deferred.
-func (c *catchUp) mustDefer(now monotime.Micros) bool { return c.active(now) || len(c.deferred) > 0 }
-
 // extend records that an event was received at the instant now. An active catch-up is extended to now plus
 // quietTime, but not beyond latestEnd.
 func (c *catchUp) extend(now monotime.Micros) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -99,9 +99,12 @@
 	now := l.readClock()
 	l.catchUp.extend(now)
 	l.startPendingPools(now)
-	if queued.deferrable && l.catchUp.mustDefer(now) {
-		l.catchUp.deferred = append(l.catchUp.deferred, queued)
-		return
+	if queued.deferrable {
+		if l.catchUp.active(now) {
+			l.catchUp.deferred = append(l.catchUp.deferred, queued)
+			return
+		}
+		l.endCatchUp(now) // earlier events come first
 	}
 	l.handleNow(now, queued)
 }
