A replaced process ends although uploads are still arriving when its drain time is over

Cause: when its drain time is over a process closes its connections and stops the core. The request of an upload waits for the core's response or for the end of its client; the watch polls the socket, and a socket that the process itself has closed counted as open. Evidence: SIGQUIT of such a process shows awaitResponse and pollSocket; with two uploads in chunks of one byte, SIGTERM and a drain_within of 1 s it hung in 3 of 3 runs. TestWatchOfUploadEndsWithItsConnection fails before. Change: peerClosed reports a connection that this process has closed.

--- a/internal/frontend/http1/client_watch.go
+++ b/internal/frontend/http1/client_watch.go
@@ -127,14 +127,13 @@
 }
 
 // peerClosed reports, without waiting, whether the client has closed the connection, even if unread bytes precede
-// its end.
+// its end. A connection that this process has closed counts, too.
 func (p *peekableConn) peerClosed() bool {
 	if p.rawConn == nil {
 		return false
 	}
 	closed := false
-	// Control fails without calling the callback if this process has already closed the connection.
-	_ = p.rawConn.Control(func(fd uintptr) {
+	err := p.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -147,5 +146,5 @@
 			closed = pollEvents(fd, pollRDHup) != 0
 		}
 	})
-	return closed
+	return closed || err != nil // Control fails if this process has closed the connection
 }
