The chunks of an upload that have arrived are written to the endpoint at once

Change: Body.Buffered looks behind the framing of the next chunk, and an upload reads all that has arrived before it is written. Responses that stream, which read the same way already, gain the same.

--- a/internal/http1msg/body.go
+++ b/internal/http1msg/body.go
@@ -136,11 +136,15 @@
 // Trailer returns the trailer fields of a chunked body that has been read to its end.
 func (b *Body) Trailer() http.Header { return b.trailer }
 
-// Buffered returns how many bytes of data can be read without waiting, as far as that is known.
+// Buffered returns how many bytes of data can be read without waiting, as far as that is known. Behind the data of a
+// chunk it is 1 if the next chunk's data has begun to arrive.
 func (b *Body) Buffered() int {
-	if b.done || b.kind == Chunked && b.state != chunkData {
+	if b.done {
 		return 0
 	}
+	if b.kind == Chunked && b.state != chunkData {
+		return b.bufferedBehindFraming()
+	}
 	n := b.reader.Buffered()
 	if b.kind != UntilClose {
 		n = int(min(int64(n), b.remaining))
@@ -148,6 +152,24 @@
 	return n
 }
 
+// bufferedBehindFraming returns 1 if the framing up to the next chunk's data is buffered, and a byte of that data. It
+// returns 0 for the last chunk.
+func (b *Body) bufferedBehindFraming() int {
+	buffered, _ := b.reader.Peek(b.reader.Buffered())
+	if b.state == chunkEnd {
+		_, afterEnd, found := bytes.Cut(buffered, crlf)
+		if !found {
+			return 0
+		}
+		buffered = afterEnd
+	}
+	header, data, found := bytes.Cut(buffered, crlf)
+	if b.state == chunkTrailer || !found || len(header) == 0 || len(data) == 0 || header[0] == '0' {
+		return 0
+	}
+	return 1
+}
+
 // Read reads part of the body, as io.Reader describes.
 func (b *Body) Read(p []byte) (int, error) {
 	switch {
--- a/internal/http1msg/body_test.go
+++ b/internal/http1msg/body_test.go
@@ -198,3 +198,25 @@
 		}
 	})
 }
+
+// Buffered counts the data of the next chunk only if that can be read without waiting.
+func TestBufferedLooksBehindChunkFraming(t *testing.T) {
+	for arrived, want := range map[string]int{
+		"1\r\nx":                 0,
+		"1\r\nx\r\n":             0,
+		"1\r\nx\r\n2\r\n":        0,
+		"1\r\nx\r\n2\r\ny":       1,
+		"1\r\nx\r\n2;a=b\r\nyy":  1,
+		"1\r\nx\r\n0\r\n":        0,
+		"1\r\nx\r\n0\r\n\r\nGET": 0,
+		"1\r\nx\r\n\r\n":         0,
+	} {
+		body := NewBody(bufio.NewReaderSize(strings.NewReader(arrived), 4<<10), Framing{Kind: Chunked})
+		if n, err := body.Read(make([]byte, 8)); n != 1 || err != nil {
+			t.Fatalf("%q: %d, %v", arrived, n, err)
+		}
+		if got := body.Buffered(); got != want {
+			t.Errorf("%q: %d bytes buffered behind the first chunk, want %d", arrived, got, want)
+		}
+	}
+}
--- a/internal/upstream/requeststream.go
+++ b/internal/upstream/requeststream.go
@@ -95,11 +95,17 @@
 	return now >= due && s.Withhold()
 }
 
-// read reads bytes of Body. It waits for the client if none have arrived.
-func (s *RequestStream) read(b []byte) (int, error) {
+// read waits for bytes of Body if none have arrived, and reads all that have arrived, so that they are written to the
+// endpoint at once.
+func (s *RequestStream) read(b []byte) (n int, err error) {
 	s.awaitsClient.Store(true)
-	n, err := s.Body.Read(b)
+	n, err = s.Body.Read(b)
 	s.awaitsClient.Store(false)
+	for err == nil && n < len(b) && s.Body.Buffered() > 0 {
+		var count int
+		count, err = s.Body.Read(b[n:])
+		n += count
+	}
 	s.received.Add(int64(n))
 	return n, err
 }
