Rejected clients get their error in time, however many are rejected at once

Cause: the pause before a rejection counted the time since the connection's first read, in which others ran, with up to 4 ms, and the pauses follow one another. Change: such a pause counts as the 0.5 ms of timeslice.MaxRun.

--- a/internal/timesharing/timesharing.go
+++ b/internal/timesharing/timesharing.go
@@ -113,16 +113,13 @@
 	t.restart(t.processors.clock.Now())
 }
 
-// Pause pauses the goroutine, however short it has run.
+// Pause pauses the goroutine, however short it has run. It counts as a run of timeslice.MaxRun, since its time includes
+// that of others.
 func (t *Turn) Pause() {
 	if t.processors == nil {
 		return
 	}
-	now := t.processors.clock.Now()
-	t.mu.Lock()
-	length, _ := t.slice.Step(now)
-	t.mu.Unlock()
-	t.processors.pause(now, length, t.client)
+	t.processors.pause(t.processors.clock.Now(), timeslice.MaxRun, t.client)
 	t.restart(t.processors.clock.Now())
 }
 
--- a/internal/timesharing/timesharing_test.go
+++ b/internal/timesharing/timesharing_test.go
@@ -1,6 +1,8 @@
 package timesharing
 
 import (
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,3 +55,31 @@
 	turn.Waited()
 	turn.Yield()
 }
+
+// Guards against clients that are rejected and get their error only after the 3 s that they are owed it within, because
+// each pause was as long as the time in which others ran.
+func TestPausesOfRejectedClientsAreShort(t *testing.T) {
+	const clients = 500
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	processors := New(clock.New(), scriptedpeer.DiscardLog)
+	started := make(chan struct{})
+	var pausing sync.WaitGroup
+	for range clients {
+		turn := processors.NewTurn("desk")
+		turn.Yield() // starts the turn
+		pausing.Go(func() {
+			<-started
+			turn.Pause()
+		})
+	}
+	runFor(10 * time.Millisecond) // others run
+	startedAt := time.Now()
+	close(started)
+	pausing.Wait()
+	if took := time.Since(startedAt); took > 3*time.Second {
+		t.Errorf("the last of %d clients was paused for %v", clients, took)
+	}
+	if _, total := processors.Pauses(); total > clients*clients*clock.Duration(2*timeslice.MaxRun) {
+		t.Errorf("%d clients were paused for %v in all", clients, total)
+	}
+}
