One rule for the memory of both programs

The part of the memory for bodies stood in the sidecar and in the daemon; the daemon's collector still worked against requests from half of the memory on, the fault that was mended in the sidecar. Change: connlimit.MaxReservedBytes and package memorylimit are used by both. A limit that admits no request does not move a flow's tag in the fair queue. A constant has its unit; conn.manager is never nil.

--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -7,9 +7,9 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
+	"dunlinsail/internal/memorylimit"
 	"dunlinsail/internal/platform"
 	"dunlinsail/internal/sidecar"
 )
@@ -27,9 +27,7 @@
 		log.Error("cannot start", "error", err)
 		os.Exit(2)
 	}
-	// Garbage is collected more often near this limit; the platform kills a process that exceeds the full amount.
-	// With less, collecting would take the processor from requests while many connections are open.
-	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 4 * 3)
+	memorylimit.Set(int64(config.MemoryMB) << 20) // the platform kills a process that exceeds it
 	// The signal handlers are never removed: the platform may send SIGTERM while this process exits after a
 	// handover, and the signal must not kill it.
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/dunlinsaild/serve.go
+++ b/cmd/dunlinsaild/serve.go
@@ -7,11 +7,11 @@
 	"log/slog"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"dunlinsail/internal/config"
 	"dunlinsail/internal/daemon"
+	"dunlinsail/internal/memorylimit"
 )
 
 // fileFlag is the flag with the path of the daemon's configuration file. Commands that read the file embed it.
@@ -83,7 +83,7 @@
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
 	}
-	debug.SetMemoryLimit(settings.Memory.Bytes / 2) // garbage collection becomes more frequent above half of the memory
+	memorylimit.Set(settings.Memory.Bytes)
 	return raiseDescriptorLimit(uint64(settings.Descriptors))
 }
 
--- a/internal/config/decisions.go
+++ b/internal/config/decisions.go
@@ -96,10 +96,6 @@
 	return settings
 }
 
-// bodyMemoryDivisor limits what the bodies of requests and responses take to 1/4 of the memory; garbage and all else
-// need the rest.
-const bodyMemoryDivisor = 4
-
 // ConnectionLimits returns the limits of client connections in the form that package connlimit takes.
 func (c *Config) ConnectionLimits() connlimit.Limits {
 	connections := &c.Connections
@@ -109,6 +105,6 @@
 		MaxIdleTime:    connections.MaxIdleTime.Micros(),
 		MinIdleTime:    connections.MinIdleTime.Micros(),
 
-		MaxReservedBytes: c.Process.Memory.Bytes / bodyMemoryDivisor,
+		MaxReservedBytes: connlimit.MaxReservedBytes(c.Process.Memory.Bytes),
 	}
 }
--- a/internal/decide/connlimit/settings.go
+++ b/internal/decide/connlimit/settings.go
@@ -20,6 +20,13 @@
 	MinIdleTime monotime.Micros
 }
 
+// bodyMemoryDivisor is the part of a process's memory that bodies of requests and responses may take, 1/4: garbage and
+// all else need the rest.
+const bodyMemoryDivisor = 4
+
+// MaxReservedBytes returns Limits.MaxReservedBytes for a process with the given memory in bytes.
+func MaxReservedBytes(memory int64) int64 { return memory / bodyMemoryDivisor }
+
 // Validate returns an error that names the first invalid limit, or nil.
 func (l Limits) Validate() error {
 	switch {
--- a/internal/decide/fairqueue/flow.go
+++ b/internal/decide/fairqueue/flow.go
@@ -56,7 +56,7 @@
 	s.addOpen(flow, 1)
 	if len(flow.queue) == 0 {
 		s.backlogWeight += flow.client.spec.Weight
-		flow.tag = max(flow.tag, s.virtualTime-burstCredit*float64(s.settings.MaxInFlight)/s.backlogWeight)
+		flow.tag = max(flow.tag, s.virtualTime-burstCredit*float64(max(0, s.settings.MaxInFlight))/s.backlogWeight)
 		s.backlog.Push(flow)
 	}
 	flow.queue = append(flow.queue, request)
--- a/internal/decide/timeslice/timeslice.go
+++ b/internal/decide/timeslice/timeslice.go
@@ -17,9 +17,9 @@
 	// maxTransferLead is how far transfers may be ahead of their share of the processors before they pause.
 	maxTransferLead = monotime.Millisecond
 	// pieceCost and bytesPerMicro estimate the processor time of one piece of a body: two system calls, and the
-	// copies into and out of the kernel.
-	pieceCost     = 20 * monotime.Millisecond / 1000
-	bytesPerMicro = 2000
+	// copies into and out of the kernel at 2 GB a second.
+	pieceCost     monotime.Micros = 20
+	bytesPerMicro                 = 2000
 	// sharedProcessors is the divisor that leaves half of the processors' time to goroutines that do wait.
 	sharedProcessors = 2
 )
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -16,7 +16,7 @@
 type conn struct {
 	net.Conn
 	client    *Client
-	manager   *connManager // nil in tests of a single connection
+	manager   *connManager
 	input     *peekableConn
 	readLimit io.LimitedReader // limits how many bytes are still read from input for the current request
 	buffer    *bufio.Reader    // nil while nothing is being read, so that idle connections use no buffer
@@ -96,9 +96,7 @@
 func (c *conn) reject(response *localResponse) {
 	c.input.turn.Pause()
 	c.writeResponse(response, true)
-	if c.manager != nil {
-		c.manager.markAnswered(c)
-	}
+	c.manager.markAnswered(c)
 	c.linger()
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,11 +43,8 @@
 	// clients' machine has its own limit on connections, and each idle connection that is kept open reduces the
 	// number of connections that other clients on that machine can open.
 	idleConnsDivisor = 6
-	// bodyMemoryDivisor limits what the bodies of requests and responses take to 1/4 of the memory; garbage and all
-	// else need the rest.
-	bodyMemoryDivisor = 4
-	maxIdleTime       = 15 * time.Second       // idle timeout of a client connection while no other is idle
-	minIdleTime       = 100 * time.Millisecond // idle timeout of a client connection at the limit on idle ones
+	maxIdleTime      = 15 * time.Second       // idle timeout of a client connection while no other is idle
+	minIdleTime      = 100 * time.Millisecond // idle timeout of a client connection at the limit on idle ones
 )
 
 // Timeouts for discovery that pushes endpoint lists. Such a discovery is an agent on this machine, and requests to
@@ -73,7 +70,7 @@
 // endpoint, and health checks and hedged requests need additional connections to endpoints.
 func clientLimits(sockets, memoryMB int) connlimit.Limits {
 	return connlimit.Limits{
-		MaxReservedBytes: int64(memoryMB) << 20 / bodyMemoryDivisor,
+		MaxReservedBytes: connlimit.MaxReservedBytes(int64(memoryMB) << 20),
 		MaxConnections:   maxClientConns(sockets),
 		MaxIdle:          (sockets - reservedSockets) / idleConnsDivisor,
 		MaxIdleTime:      clock.Micros(maxIdleTime),
