Connections that linger behind their last response are evicted first, whatever the response

Cause: an upload that is refused, times out or is answered early lingers like a rejected request, up to 0.2 s, and counted as idle. With more than a sixth of the descriptors so, the longest idle connection was evicted for each new one, among them those whose request was just arriving. Change: linger itself marks the connection as answered, for all paths.

--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -96,14 +96,14 @@
 func (c *conn) reject(response *localResponse) {
 	c.input.turn.Pause()
 	c.writeResponse(response, true)
-	c.manager.markAnswered(c)
 	c.linger()
 }
 
 // linger shuts down the sending side of a connection on which the client may still be sending, and discards input
-// for up to lingerTimeout. Closing a connection with unread bytes would reset it before the client has read the
+// for up to lingerTimeout, unless the connection is evicted before. Closing a connection with unread bytes would reset it before the client has read the
 // response (RFC 9112 section 9.6).
 func (c *conn) linger() {
+	c.manager.markAnswered(c)
 	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite() // fails if the connection is closed already
 	}
