Slow clients are played against the daemon; its collector works from half of the memory on

The daemon's soft limit is half of its memory again, as its page says; its libraries take more than the sidecar's code.

--- a/cmd/dunlinsaild/flood_test.go
+++ b/cmd/dunlinsaild/flood_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
+	"dunlinsail/internal/fake/slowclients"
 )
 
 // floodMemoryMB is the memory limit of a daemon that is flooded, in MiB.
@@ -120,3 +122,42 @@
 		}
 	}
 }
+
+// slowServedPercent is the part of another client's requests that has to be served beside slow clients (page FLEET, the
+// gate).
+const slowServedPercent = 50
+
+// slowClients is how many slow clients are connected at once, of the 240 that 512 descriptors allow.
+const slowClients = 160
+
+// Guards against a process that exceeds its memory limit, or answers late, while hundreds of clients write or read
+// slowly or have stopped.
+func TestSlowClientsInLittleMemory(t *testing.T) {
+	program := floodclient.BuildProgram(t)
+	for name, config := range map[string]func(*testing.T, string, int) string{
+		"by class": floodedByClass,
+		"by route": floodedByRoute,
+	} {
+		for _, kind := range slowclients.Kinds() {
+			t.Run(name+", "+kind.String(), func(t *testing.T) {
+				addr := scriptedpeer.ClosedAddress(t)
+				daemon := startProgram(t, program, writeConfig(t, config(t, addr, 1)))
+				server := floodclient.ServerProcess{
+					Addr:      addr,
+					PID:       daemon.cmd.Process.Pid,
+					MaxMemory: floodMemoryMB << 20,
+					SafeClass: "look",
+				}
+				server.CheckOtherClient(t, slowServedPercent, func(ctx context.Context) {
+					slowclients.Run(ctx, slowclients.Options{
+						Addr:        addr,
+						Kind:        kind,
+						Connections: slowClients,
+						SafeClass:   server.SafeClass,
+						UnsafeClass: "pay",
+					})
+				})
+			})
+		}
+	}
+}
--- a/cmd/dunlinsaild/serve.go
+++ b/cmd/dunlinsaild/serve.go
@@ -83,7 +83,7 @@
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
 	}
-	memorylimit.Set(settings.Memory.Bytes)
+	memorylimit.Set(settings.Memory.Bytes, memorylimit.DaemonPercent)
 	return raiseDescriptorLimit(uint64(settings.Descriptors))
 }
 
--- a/internal/config/host.go
+++ b/internal/config/host.go
@@ -9,8 +9,8 @@
 	// Cores is the largest number of processors used at once. 0, the default, is all processors of the host.
 	Cores int `toml:"cores"`
 
-	// Memory is the memory limit: at least 16MiB. Garbage is collected more often once three quarters of it are in
-	// use. The default is 256MiB.
+	// Memory is the memory limit: at least 16MiB. Garbage is collected more often once half of it is in use. The
+	// default is 256MiB.
 	Memory stricttoml.Size `toml:"memory"`
 
 	// Descriptors is the largest number of open sockets and files: at least 128. The daemon raises the limit of its
--- a/internal/memorylimit/memorylimit.go
+++ b/internal/memorylimit/memorylimit.go
@@ -3,10 +3,13 @@
 
 import "runtime/debug"
 
-// softLimitPercent is the part of the memory from which on garbage is collected more often. With a lower one, collecting
-// would take the processors from requests while many connections are open; the rest is for what the runtime does not
-// count, such as the program's code.
-const softLimitPercent = 75
+// Parts of the memory from which on garbage is collected more often, in percent. The rest is for what the runtime does
+// not count, such as the program's code and libraries. With a lower part, collecting would take the processors from
+// requests while many connections are open.
+const (
+	SidecarPercent = 75
+	DaemonPercent  = 50 // its libraries take more than the sidecar's code
+)
 
-// Set sets the soft limit of the runtime for a process that may use the given memory in bytes.
-func Set(memory int64) { debug.SetMemoryLimit(memory * softLimitPercent / 100) }
+// Set sets the soft limit of the runtime to a part in percent of the memory in bytes that the process may use.
+func Set(memory, percent int64) { debug.SetMemoryLimit(memory * percent / 100) }
