--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -27,7 +27,7 @@
 		log.Error("cannot start", "error", err)
 		os.Exit(2)
 	}
-	memorylimit.Set(int64(config.MemoryMB)<<20, memorylimit.SidecarPercent) // the platform kills a process that exceeds it
+	memorylimit.Set(int64(config.MemoryMB)<<20, memorylimit.SidecarPercent) // a process over it is killed
 	// The signal handlers are never removed: the platform may send SIGTERM while this process exits after a
 	// handover, and the signal must not kill it.
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/decide/timeslice/timeslice.go
+++ b/internal/decide/timeslice/timeslice.go
@@ -18,8 +18,8 @@
 	maxTransferLead = monotime.Millisecond
 	// pieceCost and bytesPerMicro estimate the processor time of one piece of a body: two system calls, and the
 	// copies into and out of the kernel at 2 GB a second.
-	pieceCost     monotime.Micros = 20
-	bytesPerMicro                 = 2000
+	pieceCost     = 20 // µs
+	bytesPerMicro = 2000
 	// sharedProcessors is the divisor that leaves half of the processors' time to goroutines that do wait.
 	sharedProcessors = 2
 )
@@ -67,7 +67,7 @@
 // not pause. Many transfers keep the processors busy even if each of them waits in between, so their pieces count
 // together.
 func (s *Scheduler) Transfer(now monotime.Micros, pieceBytes, processors int) (resumeAt monotime.Micros) {
-	cost := pieceCost + monotime.Micros(pieceBytes/bytesPerMicro)
+	cost := monotime.Micros(pieceCost + pieceBytes/bytesPerMicro)
 	s.nextStart = max(s.nextStart, now) + max(1, sharedProcessors*cost/monotime.Micros(max(1, processors)))
 	if s.nextStart-now <= maxTransferLead {
 		return 0
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -99,9 +99,9 @@
 	c.linger()
 }
 
-// linger shuts down the sending side of a connection on which the client may still be sending, and discards input
-// for up to lingerTimeout, unless the connection is evicted before. Closing a connection with unread bytes would reset it before the client has read the
-// response (RFC 9112 section 9.6).
+// linger shuts down the sending side of a connection on which the client may still be sending, and discards input for
+// up to lingerTimeout, unless the connection is evicted before. Closing a connection with unread bytes would reset it
+// before the client has read the response (RFC 9112 section 9.6).
 func (c *conn) linger() {
 	c.manager.markAnswered(c)
 	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
