--- a/review/tool-2/run.go
+++ b/review/tool-2/run.go
@@ -38,11 +38,12 @@
 	return &run{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: file}, nil
 }
 
-// note writes a line to the record.
+// note writes a line to the record, with $DIR for the temporary folder.
 func (r *run) note(format string, args ...any) {
+	text := strings.ReplaceAll(fmt.Sprintf(format, args...), r.dir, "$DIR")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.start).Seconds(), text)
 }
 
 // close ends all processes, and removes the temporary folder.
