--- a/review/tool-2/keyed.go
+++ b/review/tool-2/keyed.go
@@ -90,11 +90,11 @@
 	if err := r.awaitReady(address, 10*time.Second); err != nil {
 		return err
 	}
-	const bookings = 60
+	const bookings = 240
 	for n := range bookings {
 		id := fmt.Sprintf("visit-%d", n)
-		r.ask(address, id, http.MethodPost, "/visits", "X-Trace-Id: "+id+"\r\nIdempotency-Key: "+id+"\r\n", "{}", time.Second)
-		time.Sleep(50 * time.Millisecond)
+		r.ask(address, id, http.MethodPost, "/visits", idField+id+"\r\nIdempotency-Key: "+id+"\r\n", "{}", time.Second)
+		time.Sleep(40 * time.Millisecond)
 	}
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/tool-2/lost.go
+++ b/review/tool-2/lost.go
@@ -65,11 +65,11 @@
 	serve := func(id string) reply { return reply{after: 5 * time.Millisecond, status: 200, body: "booked " + id} }
 	a, b := r.newEndpoint("a", serve), r.newEndpoint("b", serve)
 	nodes := []instance{
-		{ID: "node-a", Address: a.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1},
-		{ID: "node-b", Address: b.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1}}
+		{ID: "node-a", Address: a.address, Lifecycle: "up"},
+		{ID: "node-b", Address: b.address, Lifecycle: "up"}}
 	d := r.newDiscovery(nodes...)
 	address := freeAddress()
-	config := r.writeConfig("config.json", address, d, nodes, settings(nil))
+	config := r.writeConfig("config.json", address, d, nodes, settings("automatic", 3, 0))
 	r.launch("sidecar", "exec bin/dunlinsail", []string{"ROUTER_CONFIG=" + config})
 	if err := r.awaitReady(address, 10*time.Second); err != nil {
 		return err
--- a/review/tool-2/peers.go
+++ b/review/tool-2/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +25,9 @@
 	at time.Time
 }
 
+// idField is the start of the field that carries the id of a request.
+const idField = "X-Trace-Id: "
+
 // endpoint is a stand-in for an endpoint, as PROTOCOL describes it: it begins a request when its last byte has come.
 type endpoint struct {
 	name, address string
@@ -55,7 +57,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	id := req.Header.Get("X-Trace-Id")
+	id := req.Header.Get(strings.TrimSuffix(idField, ": "))
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{id, time.Now()})
 	e.mu.Unlock()
@@ -131,7 +133,7 @@
 func (r *run) awaitReady(address string, timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get("http://" + address + "/-/ready")
+		response, err := client.Get(fmt.Sprintf("http://%s/-/ready", address))
 		if err != nil {
 			continue
 		}
@@ -143,28 +145,37 @@
 	return fmt.Errorf("%s was not ready within %v", address, timeout)
 }
 
-// operator makes an operator's call, and returns its status.
-func (r *run) operator(address, path, target string) (int, error) {
+// disable makes the operator's call that takes an endpoint out, and returns its status.
+func (r *run) disable(address, target string) (int, error) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+address+path, "application/json", strings.NewReader(`{"target":"`+target+`"}`))
+	response, err := client.Post(fmt.Sprintf("http://%s/endpoints/disable", address), "application/json",
+		strings.NewReader(`{"target":"`+target+`"}`))
 	if err != nil {
 		return 0, err
 	}
 	response.Body.Close()
-	r.note("operator calls %s for %s: %d", path, target, response.StatusCode)
+	r.note("the operator takes %s out: %d", target, response.StatusCode)
 	return response.StatusCode, nil
 }
 
 // instance is an entry of discovery's list.
 type instance struct {
-	ID        string  `json:"instanceId"`
-	Address   string  `json:"hostPort"`
-	Zone      string  `json:"zone"`
-	Kind      string  `json:"machineType"`
-	Cell      int     `json:"cell"`
-	Lifecycle string  `json:"lifecycle"`
-	Weight    float64 `json:"weight"`
-	StartedMs int64   `json:"startedAtMs"`
+	ID        string
+	Address   string
+	Lifecycle string
+}
+
+// entryFormat is the form of an entry on page PROTOCOL.
+const entryFormat = `{"instanceId":%q,"hostPort":%q,"zone":"heredia","machineType":"std-2c","cell":0,"lifecycle":%q,` +
+	`"weight":1.0,"startedAtMs":0}`
+
+// listMessage returns a list in the form of page PROTOCOL, in one line.
+func listMessage(generation int, reset bool, instances []instance) string {
+	var entries []string
+	for _, i := range instances {
+		entries = append(entries, fmt.Sprintf(entryFormat, i.ID, i.Address, i.Lifecycle))
+	}
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`+"\n", generation, reset, strings.Join(entries, ","))
 }
 
 // discovery is a stand-in for discovery, as PROTOCOL describes it.
@@ -179,12 +190,6 @@
 	watches    map[chan struct{}]bool
 }
 
-type listMessage struct {
-	Generation int        `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
-}
-
 func (r *run) newDiscovery(instances ...instance) *discovery {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -216,25 +221,28 @@
 }
 
 // whole returns all entries.
-func (d *discovery) whole() []instance { return d.since(-1).Instances }
+func (d *discovery) whole() []instance {
+	_, instances := d.since(-1)
+	return instances
+}
 
-// since returns the entries that changed after a generation; after a negative one the whole list.
-func (d *discovery) since(after int) listMessage {
+// since returns the generation and the entries that changed after a generation; after a negative one the whole list.
+func (d *discovery) since(after int) (generation int, instances []instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	m := listMessage{Generation: d.generation, Reset: after < 0, Instances: []instance{}}
 	for id, i := range d.list {
 		if d.changed[id] > after {
-			m.Instances = append(m.Instances, i)
+			instances = append(instances, i)
 		}
 	}
-	return m
+	return d.generation, instances
 }
 
 // ServeHTTP answers a call for the list, or keeps a watch open.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Query().Get("watch") == "" {
-		_ = json.NewEncoder(w).Encode(d.since(-1))
+		generation, instances := d.since(-1)
+		_, _ = io.WriteString(w, listMessage(generation, true, instances))
 		return
 	}
 	after := -1
@@ -252,11 +260,11 @@
 	flusher := w.(http.Flusher)
 	flusher.Flush()
 	for {
-		if m := d.since(after); len(m.Instances) > 0 {
-			after = m.Generation
-			if json.NewEncoder(w).Encode(m) != nil {
+		if generation, instances := d.since(after); len(instances) > 0 {
+			if _, err := io.WriteString(w, listMessage(generation, after < 0, instances)); err != nil {
 				return
 			}
+			after = generation
 			flusher.Flush()
 		}
 		select {
--- a/review/tool-2/sidecar.go
+++ b/review/tool-2/sidecar.go
@@ -1,65 +1,41 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// settings returns the settings of a small deployment in the form of page WIRE, with changes by path.
-func settings(changes map[string]any) map[string]any {
-	tree := map[string]any{
-		"areas": []string{"heredia"}, "skus": []string{"std-2c"}, "stages": []string{"agenda-api"},
-		"classes": []map[string]any{
-			{"name": "open-slots", "repeat": "pure", "group": "all", "window": 5000000, "target": 250000, "give-up": 500000,
-				"credit": 2.0, "late-value": 0.0, "stream": false},
-			{"name": "book", "repeat": "token", "group": "cell", "window": 400000, "target": 300000, "give-up": 600000,
-				"credit": 5.0, "late-value": 0.0, "stream": false},
-		},
-		"contract": map[string]any{"answer-slack": 16000, "ask-within": 10000000, "cold-from": 0.14, "drain-grace": 250000,
-			"fall-multiple": 2.5, "overload-for": 2000000, "ramp-time": 23000000},
-		"discovery": "automatic", "kind-of-service": "mesh",
-		"goal": map[string]any{"whole": 0.6, "worst-class": 0.2, "worst-tenant": 0.1, "worst-window": 0.1},
-		"limits": map[string]any{"cancel": true, "dial-timeout": 100000, "keepalive": 15000000, "max-retry-after": 400000,
-			"may-tell": false, "most-held": 20000, "most-tries": 3, "multiplex": 1, "probes": false, "retry-after": true,
-			"second-copies": true},
-		"over-share-worth": 0.05, "peers-total": 3, "position": 0, "tick": 4000, "tier": 0, "value-by": "request",
-		"weight-kind": "nominal", "zone": 0,
-		"prices":    map[string]any{"cross-zone": 0.01, "late-fail": 0.03, "probe": 0.002, "waste": 0.1},
-		"reporting": map[string]any{"how": "none"},
-	}
-	for path, value := range changes {
-		node := tree
-		keys := strings.Split(path, ".")
-		for _, key := range keys[:len(keys)-1] {
-			node = node[key].(map[string]any)
-		}
-		node[keys[len(keys)-1]] = value
-	}
-	return tree
+// settingsFormat has the settings of a small deployment in the form of page WIRE.
+const settingsFormat = `{"areas":["heredia"],"skus":["std-2c"],"stages":["agenda-api"],"classes":[
+{"name":"open-slots","repeat":"pure","group":"all","window":5000000,"target":250000,"give-up":500000,"credit":2.0,
+"late-value":0.0,"stream":false},
+{"name":"book","repeat":"token","group":"cell","window":400000,"target":300000,"give-up":600000,"credit":5.0,
+"late-value":0.0,"stream":false}],
+"contract":{"answer-slack":16000,"ask-within":10000000,"cold-from":0.14,"drain-grace":250000,"fall-multiple":2.5,
+"overload-for":2000000,"ramp-time":23000000},
+"discovery":%q,"kind-of-service":"mesh",
+"goal":{"whole":0.6,"worst-class":0.2,"worst-tenant":0.1,"worst-window":0.1},
+"limits":{"cancel":true,"dial-timeout":100000,"keepalive":15000000,"max-retry-after":400000,"may-tell":false,
+"most-held":20000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
+"over-share-worth":0.05,"peers-total":%d,"position":%d,"tick":4000,"tier":0,"value-by":"request",
+"weight-kind":"nominal","zone":0,
+"prices":{"cross-zone":0.01,"late-fail":0.03,"probe":0.002,"waste":0.1},"reporting":{"how":"none"}}`
+
+// settings returns the settings of a small deployment, but for discovery and the size of the fleet.
+func settings(discovery string, sidecars, position int) string {
+	return fmt.Sprintf(settingsFormat, discovery, sidecars, position)
 }
 
 // writeConfig writes the configuration of a sidecar in the form of page DEPLOY, and returns its path.
-func (r *run) writeConfig(name, listen string, d *discovery, known []instance, settings map[string]any) string {
-	config := map[string]any{
-		"name": "n1", "listen": listen, "discovery": d.address, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings,
-	}
-	if known != nil {
-		config["known"] = listMessage{Generation: 41, Reset: true, Instances: known}
-	}
-	var text bytes.Buffer
-	if err := json.NewEncoder(&text).Encode(config); err != nil {
-		panic(err)
-	}
-	return r.write(name, text.String())
+func (r *run) writeConfig(name, listen string, d *discovery, known []instance, settings string) string {
+	return r.write(name, fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"%016x",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		listen, d.address, time.Now().UnixNano(), listMessage(41, true, known), settings))
 }
 
 // awaitOperatorReady waits until GET /ready at an operator's address answers 2xx.
@@ -90,8 +66,7 @@
 		name := fmt.Sprintf("node-%d", n)
 		e := r.newEndpoint(name, serve)
 		endpoints = append(endpoints, e)
-		nodes = append(nodes, instance{ID: name, Address: e.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up",
-			Weight: 1})
+		nodes = append(nodes, instance{ID: name, Address: e.address, Lifecycle: "up"})
 	}
 	d := r.newDiscovery(nodes...)
 	stop := make(chan struct{})
@@ -167,7 +142,7 @@
 	name := fmt.Sprintf("%s-%d", u.name, u.starts)
 	operator := freeAddress()
 	// A fleet of 300 sidecars is that of page STANDING.
-	site := settings(map[string]any{"discovery": "subscribe", "peers-total": 300, "position": u.position})
+	site := settings("subscribe", 300, u.position)
 	config := r.writeConfig(name+".json", u.listener.Addr().String(), u.source, u.source.whole(), site)
 	u.serving = r.launch(name, "exec bin/dunlinsail", []string{"ROUTER_CONFIG=" + config, "ROUTER_INHERITED_FD=5",
 		"TMPDIR=" + u.shared, "ROUTER_OPERATOR=" + operator}, nil, nil, u.socket)
@@ -188,6 +163,6 @@
 		}
 		id := fmt.Sprintf("slots-%d-%d", client, n)
 		r.ask(address, id, http.MethodGet, "/open-slots",
-			"X-Trace-Id: "+id+"\r\nX-Qos: open-slots\r\nX-Expires-In-Ms: 500\r\n", "", time.Second)
+			idField+id+"\r\nX-Qos: open-slots\r\nX-Expires-In-Ms: 500\r\n", "", time.Second)
 	}
 }
--- a/review/tool-2/stale.go
+++ b/review/tool-2/stale.go
@@ -24,7 +24,7 @@
 	for i := range results {
 		clients.Go(func() {
 			id := fmt.Sprintf("request-%d", i)
-			results[i] = r.ask(address, id, method, path, "X-Trace-Id: "+id+"\r\n"+header, "", wait)
+			results[i] = r.ask(address, id, method, path, idField+id+"\r\n"+header, "", wait)
 		})
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -52,8 +52,8 @@
 	serve := func(string) reply { return reply{after: 1500 * time.Millisecond, status: 200, body: "slots"} }
 	a, b := r.newEndpoint("a", serve), r.newEndpoint("b", serve)
 	d := r.newDiscovery(
-		instance{ID: "node-a", Address: a.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1},
-		instance{ID: "node-b", Address: b.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1})
+		instance{ID: "node-a", Address: a.address, Lifecycle: "up"},
+		instance{ID: "node-b", Address: b.address, Lifecycle: "up"})
 	address, operators := freeAddress(), freeAddress()
 	config := r.write("dunlinsaild.toml", fmt.Sprintf(`[discovery]
 address = %q
@@ -93,7 +93,7 @@
 		}
 	}
 	time.Sleep(200 * time.Millisecond)
-	status, err := r.operator(operators, "/endpoints/disable", "node-b")
+	status, err := r.disable(operators, "node-b")
 	if err != nil || status != http.StatusOK {
 		return fmt.Errorf("the operator's call: %d, %v", status, err)
 	}
@@ -106,9 +106,9 @@
 func poolReplaced(r *run) error {
 	serve := func(string) reply { return reply{after: 1500 * time.Millisecond, status: 200, body: "slots"} }
 	a, b := r.newEndpoint("a", serve), r.newEndpoint("b", serve)
-	nodeB := instance{ID: "node-b", Address: b.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1}
+	nodeB := instance{ID: "node-b", Address: b.address, Lifecycle: "up"}
 	d := r.newDiscovery(
-		instance{ID: "node-a", Address: a.address, Zone: "heredia", Kind: "std-2c", Lifecycle: "up", Weight: 1}, nodeB)
+		instance{ID: "node-a", Address: a.address, Lifecycle: "up"}, nodeB)
 	address := freeAddress()
 	text := func(retryBudget string) string {
 		return fmt.Sprintf(`[requests]
