--- a/review/tool-2/keyed.go
+++ b/review/tool-2/keyed.go
@@ -30,7 +30,11 @@
 
 // keyedStatic has an endpoint lose answers to keyed requests that it has run.
 func keyedStatic(r *run) error {
-	const window = 400 * time.Millisecond
+	const (
+		window = 400 * time.Millisecond
+		losses = 6 * time.Second // length of the disruption
+	)
+	var firstLoss time.Time
 	var mu sync.Mutex
 	effects := map[string][]string{}
 	runs := 0
@@ -41,7 +45,10 @@
 				mu.Lock()
 				effects[id] = append(effects[id], c.name)
 				runs++
-				lose := unreliable && r.trouble && runs%4 == 0
+				lose := unreliable && r.trouble && runs%4 == 0 && (firstLoss.IsZero() || time.Since(firstLoss) < losses)
+				if lose && firstLoss.IsZero() {
+					firstLoss = time.Now()
+				}
 				mu.Unlock()
 				r.note("%s books %s", c.name, id)
 				if lose {
@@ -90,11 +97,11 @@
 	if err := r.awaitReady(address, 10*time.Second); err != nil {
 		return err
 	}
-	const bookings = 240
+	const bookings = 300
 	for n := range bookings {
 		id := fmt.Sprintf("visit-%d", n)
 		r.ask(address, id, http.MethodPost, "/visits", idField+id+"\r\nIdempotency-Key: "+id+"\r\n", "{}", time.Second)
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/tool-2/stale.go
+++ b/review/tool-2/stale.go
@@ -80,7 +80,7 @@
 aim = "8s"
 give_up = "8s"
 `, d.address, r.path("takeover.sock"), operators, address))
-	r.daemon("old", config)
+	old := r.daemon("old", config)
 	if err := r.awaitReady(address, 10*time.Second); err != nil {
 		return err
 	}
@@ -91,6 +91,8 @@
 		if err := next.awaitLog("msg=serving", 5*time.Second); err != nil {
 			return err
 		}
+		old.signal(syscall.SIGTERM)
+		time.AfterFunc(3700*time.Millisecond, func() { old.signal(syscall.SIGKILL) })
 	}
 	time.Sleep(200 * time.Millisecond)
 	status, err := r.disable(operators, "node-b")
