Keyed requests stay at endpoints whose zone or cell the list states

Cause: the zero value of a cell is a cell. A list that names no cell left balancer.Endpoint.Cell at 0, so that all such endpoints were one cell, and mayRunAgain allowed the retry. Zones that are missing, assumed (the static list's own zone) or not in the settings were one zone in the same way, by the index 255.

Change: zones and cells are numbers of a DedupGroup whose zero value is unknown and equals no group.

Why it works: the only comparison of groups is DedupGroup.sameAs, and no list can reach it with a group that it does not state. Known groups are compared as before: cells 0 that are stated, and zones that only the list names, are retried.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -12,12 +12,24 @@
 	Gone                          // gets no new attempts, and is removed once it has no attempt in flight
 )
 
+// DedupGroup is the number of a set of endpoints that drop second runs with the same idempotency key. Zones and cells
+// are numbered independently of each other.
+type DedupGroup uint32
+
+// UnknownGroup is the group of an endpoint whose list entry does not state it. Two endpoints of an unknown group are
+// not in the same group.
+const UnknownGroup DedupGroup = 0
+
+// sameAs reports whether both groups are known and equal.
+func (g DedupGroup) sameAs(other DedupGroup) bool { return g != UnknownGroup && g == other }
+
 // Endpoint is one entry of an endpoint list.
 type Endpoint struct {
-	ID        uint32 // number that the host has assigned to the endpoint
-	Zone      uint8  // number of the endpoint's zone
-	Kind      uint8  // machine type. Not used by the balancer.
-	Cell      uint16 // cell within the zone (see DedupCell); cell numbers are unique over all zones
+	ID        uint32     // number that the host has assigned to the endpoint
+	Zone      uint8      // number of the endpoint's zone in Settings.Zone, for Prices.CrossZone
+	Kind      uint8      // machine type. Not used by the balancer.
+	ZoneGroup DedupGroup // the endpoint's zone, for DedupZone; zones that the settings do not name have numbers, too
+	CellGroup DedupGroup // the endpoint's cell, for DedupCell; numbers are unique over all zones
 	State     EndpointState
 	Share     float32         // fraction of the service's capacity, 0 to 1. Not used by the balancer.
 	StartTime monotime.Micros // instant at which the endpoint's process started; 0 is unknown (startTimeOf)
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -24,8 +24,8 @@
 	predictedLatency := b.predictLatency(now, e, r.work)
 	r.attempts = append(r.attempts, attempt{
 		endpoint:        e,
-		zone:            e.Zone,
-		cell:            e.Cell,
+		zoneGroup:       e.ZoneGroup,
+		cellGroup:       e.CellGroup,
 		sentAt:          now,
 		inflight:        true,
 		mayHaveRun:      true,
--- a/balancer/checker_test.go
+++ b/balancer/checker_test.go
@@ -106,8 +106,8 @@
 		return
 	}
 	inScope := class.DedupScope == DedupAll ||
-		class.DedupScope == DedupZone && first.endpoint.Zone == e.Zone ||
-		class.DedupScope == DedupCell && first.endpoint.Cell == e.Cell
+		class.DedupScope == DedupZone && e.ZoneGroup != UnknownGroup && first.endpoint.ZoneGroup == e.ZoneGroup ||
+		class.DedupScope == DedupCell && e.CellGroup != UnknownGroup && first.endpoint.CellGroup == e.CellGroup
 	if class.Idempotency == NonIdempotent || !inScope || c.now > first.sentAt+class.DedupWindow {
 		c.recordViolation("another attempt of request %d (%s) may apply its effect twice", r.request.ID, class.Name)
 	}
@@ -299,6 +299,7 @@
 	}
 	if e.State == Ready && run.random.Intn(4) == 0 {
 		e.Zone = uint8(run.random.Intn(3))
+		e.ZoneGroup = DedupGroup(e.Zone) // zone 0 is an unknown group
 	}
 	switch run.random.Intn(6) {
 	case 0:
--- a/balancer/decisionhost_test.go
+++ b/balancer/decisionhost_test.go
@@ -287,7 +287,7 @@
 func (s *simulation) updateEndpoints(listKind balancer.ListKind, entries []balancer.Endpoint) {
 	s.record("event members", uint8(listKind), len(entries))
 	for _, e := range entries {
-		s.record("entry", e.ID, e.Zone, e.Kind, e.Cell, uint8(e.State), e.Share, e.StartTime)
+		s.record("entry", e.ID, e.Zone, e.Kind, uint16(e.CellGroup-1), uint8(e.State), e.Share, e.StartTime)
 	}
 	s.balancer.UpdateEndpoints(s.now, listKind, entries)
 }
--- a/balancer/decisions_test.go
+++ b/balancer/decisions_test.go
@@ -170,13 +170,20 @@
 	s.changeEndpoints(s.restartEndpoint, 2, 3)
 	s.runPhase(3*second, rate)
 	s.updateEndpoints(balancer.ListFailed, nil)
-	s.changeEndpoints(func(e *simEndpoint) { e.Zone++ }, 4)
-	added := &simEndpoint{Endpoint: balancer.Endpoint{ID: 900, Zone: 1, Cell: 1, Share: 1}, serviceTimeFactor: 1}
+	s.changeEndpoints(func(e *simEndpoint) { setZone(&e.Endpoint, e.Zone+1) }, 4)
+	added := &simEndpoint{Endpoint: balancer.Endpoint{ID: 900, CellGroup: 2, Share: 1}, serviceTimeFactor: 1}
+	setZone(&added.Endpoint, 1)
 	s.endpoints = append(s.endpoints, added)
 	s.updateEndpoints(balancer.ListFull, s.endpointList())
 	s.runPhase(2*second, 2*rate)
 }
 
+// setZone sets the zone of an endpoint, for the price and for deduplication.
+func setZone(e *balancer.Endpoint, zone uint8) {
+	e.Zone = zone
+	e.ZoneGroup = balancer.DedupGroup(zone) + 1
+}
+
 // runMassRestart restarts most endpoints, as after a power cut. If the options have a takeover, it takes place while
 // the endpoints warm up.
 func (s *simulation) runMassRestart() {
@@ -400,7 +407,8 @@
 	}
 	d.changeSettings(&s.settings)
 	for i := range d.options.endpoints {
-		e := balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i % 3), Cell: uint16(i % 4), Share: 1}
+		e := balancer.Endpoint{ID: uint32(i + 1), CellGroup: balancer.DedupGroup(i%4 + 1), Share: 1}
+		setZone(&e, uint8(i%3))
 		serviceTimeFactor := 0.8 + 0.4*s.random.Float64()
 		backgroundRequests := 2 * s.random.Float64()
 		s.endpoints = append(s.endpoints, &simEndpoint{Endpoint: e, serviceTimeFactor: serviceTimeFactor,
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -107,7 +107,8 @@
 func readyEndpoints(n int) []Endpoint {
 	endpoints := make([]Endpoint, n)
 	for i := range endpoints {
-		endpoints[i] = Endpoint{ID: uint32(i + 1), Zone: uint8(i / 2), Cell: uint16(i / 2), Share: 1}
+		group := DedupGroup(i/2 + 1)
+		endpoints[i] = Endpoint{ID: uint32(i + 1), Zone: uint8(i / 2), ZoneGroup: group, CellGroup: group, Share: 1}
 	}
 	return endpoints
 }
--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -27,8 +27,8 @@
 // mayRunAgain reports whether r may run at e even though an earlier attempt may have run. It is true if no
 // earlier attempt may have run, if the class of r is idempotent, or if e drops a second run with the same
 // idempotency key. e drops it within the class's deduplication window, which starts with the first attempt
-// that may have run, and within that attempt's deduplication scope. The scope DedupCell compares
-// Endpoint.Cell but not the zone, so cell numbers must be unique over all zones.
+// that may have run, and within that attempt's deduplication scope. If the zone or cell that the scope
+// compares is unknown at either endpoint, e is outside of the scope.
 func (b *Balancer) mayRunAgain(now monotime.Micros, r *request, e *endpoint) bool {
 	c := b.classOf(r)
 	firstRun := r.firstMayHaveRun()
@@ -42,9 +42,9 @@
 	case DedupAll:
 		return true
 	case DedupZone:
-		return e.Zone == firstRun.zone
+		return e.ZoneGroup.sameAs(firstRun.zoneGroup)
 	case DedupCell:
-		return e.Cell == firstRun.cell
+		return e.CellGroup.sameAs(firstRun.cellGroup)
 	}
 	return false
 }
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -37,8 +37,8 @@
 // attempt holds the state of one attempt, which sends a request to an endpoint.
 type attempt struct {
 	endpoint        *endpoint
-	zone            uint8           // zone of the endpoint when the attempt was sent; discovery may change it
-	cell            uint16          // cell of the endpoint when the attempt was sent
+	zoneGroup       DedupGroup      // zone of the endpoint when the attempt was sent; discovery may change it
+	cellGroup       DedupGroup      // cell of the endpoint when the attempt was sent
 	sentAt          monotime.Micros // instant of the send
 	expectedLatency float64         // predicted latency when the attempt was sent, microseconds
 	workFactor      float64         // work x queue delay factor when the attempt was sent, microseconds
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -38,6 +38,28 @@
 	}
 }
 
+// Guards against keyed requests that take effect twice at endpoints whose zones and cells are not known: two unknown
+// groups are not one.
+func TestUnknownGroupsAreNotOne(t *testing.T) {
+	for class, settings := range testSettings().Classes {
+		endpoints := readyEndpoints(4)
+		for i := range endpoints {
+			endpoints[i].ZoneGroup = UnknownGroup
+			endpoints[i].CellGroup = UnknownGroup
+		}
+		b, r := startBalancer(t, testSettings(), endpoints)
+		b.HandleRequest(1000, newTestRequest(1, uint8(class), 1000))
+		b.HandleOutcome(2000, Outcome{ID: 1, Status: Reset, Latency: 1000})
+		retried := len(r.sends) == 2
+		mayRetry := settings.Idempotency == Idempotent ||
+			settings.Idempotency == IdempotentByKey && settings.DedupScope == DedupAll
+		if retried != mayRetry || len(r.rejected) > 0 || !retried && len(r.failed) != 1 {
+			t.Errorf("class %s: retried %v, want %v; rejected %v, failed %v",
+				settings.Name, retried, mayRetry, r.rejected, r.failed)
+		}
+	}
+}
+
 // Guards against a rejection that an endpoint gave to one attempt being forwarded to the client although another
 // attempt may have run.
 func TestRejectionIsForwardedOnlyIfNothingElseRan(t *testing.T) {
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -18,8 +18,8 @@
 // The deduplication scopes.
 const (
 	DedupAll  DedupScope = iota // all endpoints of the service
-	DedupZone                   // the endpoints in the zone of the first run
-	DedupCell                   // the endpoints in the cell of the first run (Endpoint.Cell)
+	DedupZone                   // the endpoints in the zone of the first run (Endpoint.ZoneGroup)
+	DedupCell                   // the endpoints in the cell of the first run (Endpoint.CellGroup)
 )
 
 // LoadMetric is the meaning of one figure in a load report (compare ORCA load reports, gRFC A51).
--- a/balancer/snapshot_test.go
+++ b/balancer/snapshot_test.go
@@ -181,7 +181,7 @@
 func (h *takeoverHost) run(withTakeover bool) int {
 	h.t.Helper()
 	b, _ := startBalancer(h.t, h.settings(), readyEndpoints(4))
-	h.warming = Endpoint{ID: 9, Zone: 0, Cell: 9, Share: 1, StartTime: 1}
+	h.warming = Endpoint{ID: 9, CellGroup: 10, Share: 1, StartTime: 1}
 	h.now = 1
 	b.UpdateEndpoints(h.now, ListDelta, []Endpoint{h.warming})
 	for range 1500 {
@@ -235,7 +235,8 @@
 	predecessor, now := trainedBalancer(t, s, readyEndpoints(6))
 	learned := predecessor.LearnedState(now)
 	successor, _ := startBalancer(t, s, readyEndpoints(6))
-	successor.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Zone: 1, Cell: 1, StartTime: now - 1}})
+	restarted := Endpoint{ID: 3, Zone: 1, ZoneGroup: 2, CellGroup: 2, StartTime: now - 1}
+	successor.UpdateEndpoints(now, ListDelta, []Endpoint{restarted})
 	successor.Restore(now, 0, learned)
 	if e := successor.endpointsByID[3]; e.breaker.requests != 0 || e.outliers[allTraffic].consecutiveFailures != 0 ||
 		!e.warmingUp(now, successor) {
--- a/cmd/dunlinsaild/config.go
+++ b/cmd/dunlinsaild/config.go
@@ -242,7 +242,7 @@
 	if err != nil {
 		return &fileError{c.Resources, err}
 	}
-	fmt.Printf("%s: sound\n", c.Resources)
+	printSound(c.Resources, combined)
 	if tables := versions.startupConfig().TablesNeedingRestart(combined); len(tables) > 0 {
 		fmt.Printf("a new generation would take over, for %s: open requests end in the old one, connections go on\n",
 			strings.Join(tables, ", "))
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -68,6 +68,27 @@
 	return path
 }
 
+// keyedStaticConfig is a valid file whose keyed class is retried within a cell, which its list does not state.
+const keyedStaticConfig = `
+[[listener]]
+address = "127.0.0.1:0"
+[[pool]]
+name = "agenda"
+endpoints = ["127.0.0.1:9001", "127.0.0.1:9002"]
+[[class]]
+name = "book"
+repeat = "keyed"
+group = "cell"
+window = "400ms"
+aim = "300ms"
+give_up = "600ms"
+[[route]]
+pool = "agenda"
+class = "book"
+key = "header:Idempotency-Key"
+`
+
+// A setting that is valid but keeps requests from being retried is warned of, and the exit code is 0.
 // An error in the configuration file or in the arguments is printed with its position, the exit code is 2, and
 // nothing is started. Too high a number of descriptors ends the daemon with exit code 1.
 func TestCheck(t *testing.T) {
@@ -75,6 +96,12 @@
 	if code != 0 || !strings.Contains(out, "sound") {
 		t.Errorf("deploy/dunlinsaild.toml: code %d, output %q, errors %q", code, out, stderr)
 	}
+	warnedPath := writeConfig(t, keyedStaticConfig)
+	code, out, _ = runToEnd(t, "check", "--config", warnedPath)
+	if want := warnedPath + ": sound\n" + warnedPath + ": warning: class.0.group: "; code != 0 ||
+		!strings.HasPrefix(out, want) {
+		t.Errorf("a static list without cells: code %d, output %q, want %q", code, out, want)
+	}
 	badPath := writeConfig(t, "[[listener]]\nname = \"desk\"\nadress = \"127.0.0.1:0\"\n")
 	for _, args := range [][]string{{"check", "--config", badPath}, {"--config", badPath}} {
 		code, _, stderr := runToEnd(t, args...)
--- a/cmd/dunlinsaild/serve.go
+++ b/cmd/dunlinsaild/serve.go
@@ -31,15 +31,24 @@
 // checkCmd is the command that validates a configuration file.
 type checkCmd struct{ fileFlag }
 
-// Run validates the configuration file and prints that it is valid.
+// Run validates the configuration file, and prints that it is valid and what it warns of.
 func (c *checkCmd) Run() error {
-	if _, err := c.read(); err != nil {
+	conf, err := c.read()
+	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: sound\n", c.Config)
+	printSound(c.Config, conf)
 	return nil
 }
 
+// printSound prints that a file is valid, and the warnings for the configuration that it results in.
+func printSound(file string, conf *config.Config) {
+	fmt.Printf("%s: sound\n", file)
+	for _, warning := range conf.Warnings() {
+		fmt.Printf("%s: warning: %s\n", file, warning)
+	}
+}
+
 // serveCmd is the command that runs the daemon.
 type serveCmd struct {
 	fileFlag
--- a/internal/bench/site.go
+++ b/internal/bench/site.go
@@ -61,7 +61,8 @@
 	var instances []discovery.Instance
 	for i, addr := range addrs {
 		instances = append(instances, discovery.Instance{
-			ID: fmt.Sprint("s-", i), Address: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1,
+			ID: fmt.Sprint("s-", i), Address: addr, Zone: "a", Kind: "m1", Cell: new(uint16(1)),
+			Lifecycle: "up", Weight: 1,
 		})
 	}
 	server, err := discoveryserver.Start(instances...)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -51,7 +51,7 @@
 	case conf.File != "":
 		poolConfig.StaticList = true
 	default:
-		p.firstWatcher = g.newWatcher(p, conf.Discovery)
+		p.firstWatcher = g.newWatcher(p, conf)
 		if subscribe {
 			p.discoverySource = discovery.NewPolledSource(p.firstWatcher, func() {
 				p.corePool.UpdateEndpoints(context.Background(), engine.EndpointUpdate{Kind: balancer.ListFailed})
@@ -66,11 +66,15 @@
 	return p, err
 }
 
-// newWatcher returns a discovery watcher that updates a pool. The watcher requests the complete endpoint list
-// first.
-func (g *generation) newWatcher(p *pool, addr string) *discovery.Watcher {
-	return discovery.NewWatcher(addr, discovery.NoGeneration, int(g.options.Config.Process.Memory.Bytes/bytesPerMB),
-		p.updateEndpoints, g.log)
+// newWatcher returns a watcher that updates a pool from the discovery in conf. The watcher requests the complete
+// endpoint list first.
+func (g *generation) newWatcher(p *pool, conf config.Pool) *discovery.Watcher {
+	update := func(ctx context.Context, update engine.EndpointUpdate) {
+		update.Source = conf.Source()
+		p.updateEndpoints(ctx, update)
+	}
+	return discovery.NewWatcher(conf.Discovery, discovery.NoGeneration,
+		int(g.options.Config.Process.Memory.Bytes/bytesPerMB), update, g.log)
 }
 
 // bytesPerMB converts bytes to the megabytes in which package discovery takes memory sizes.
@@ -143,7 +147,7 @@
 			endpointList := endpointsource.StaticList(*conf.Endpoints, g.config.Fleet.Zone, p.listGeneration)
 			p.corePool.UpdateEndpoints(context.Background(), endpointList)
 		default:
-			p.discoverySource.SwitchTo(g.newWatcher(p, conf.Discovery))
+			p.discoverySource.SwitchTo(g.newWatcher(p, conf))
 			p.corePool.SetSource(conf.Source())
 		}
 		nextPools[conf.Name].config = conf
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -16,6 +16,7 @@
 	"dunlinsail/balancer"
 	"dunlinsail/internal/discovery"
 	"dunlinsail/internal/engine"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 )
@@ -224,6 +225,46 @@
 	}
 }
 
+// Guards against a list without cells being taken for one in which all endpoints are in cell 0.
+func TestCellOfListEntry(t *testing.T) {
+	for text, want := range map[string]engine.EndpointInfo{
+		`"cell":3`:    {Name: "s-1", Cell: 3, CellKnown: true},
+		`"cell":0`:    {Name: "s-1", CellKnown: true},
+		`"cell":null`: {Name: "s-1"},
+		`"weight":0`:  {Name: "s-1"},
+	} {
+		var list discovery.List
+		text = `{"instances":[{"instanceId":"s-1","lifecycle":"up",` + text + `}]}`
+		require.NoError(t, json.Unmarshal([]byte(text), &list))
+		if got := list.EndpointUpdate().Endpoints[0]; got != want {
+			t.Errorf("%s: %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+// A watcher that is to fetch the complete list first passes it on unless it is older than what is known, and then
+// watches from there.
+func TestFullListFirst(t *testing.T) {
+	for generation, after := range map[int64]string{6: "1 7", 7: "1 7", 8: "1 8"} {
+		server := scripteddiscovery.New(t)
+		updates := make(chan engine.EndpointUpdate, 16)
+		onUpdate := func(_ context.Context, update engine.EndpointUpdate) { updates <- update }
+		watcher := discovery.NewWatcher(server.Addr, 7, 16, onUpdate, scriptedpeer.DiscardLog)
+		watcher.FetchFullListFirst()
+		source := discovery.NewContinuousSource(watcher)
+		source.SetWatching(true)
+		expectRequest(t, server, " ")
+		server.Lines <- scripteddiscovery.Line(generation, true)
+		expectRequest(t, server, after)
+		source.Close()
+		close(updates)
+		update, passedOn := <-updates
+		if passedOn != (generation >= 7) || update.NewSource || passedOn && update.Kind != balancer.ListFull {
+			t.Errorf("generation %d: passed on %v: %+v", generation, passedOn, update)
+		}
+	}
+}
+
 // A first list that is older than requested does not reset the generations if the complete list is newer.
 func TestOlderFirstListDoesNotResetGenerations(t *testing.T) {
 	server := scripteddiscovery.New(t)
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -19,7 +19,7 @@
 	Address   string  `json:"hostPort"`
 	Zone      string  `json:"zone"`
 	Kind      string  `json:"machineType"`
-	Cell      uint16  `json:"cell"`
+	Cell      *uint16 `json:"cell,omitempty"` // nil if the entry does not state it
 	Lifecycle string  `json:"lifecycle"`
 	Weight    float32 `json:"weight"`
 	StartedMs int64   `json:"startedAtMs"` // start of the endpoint, Unix time in milliseconds
@@ -64,14 +64,18 @@
 	if !known {
 		state = balancer.Draining
 	}
-	return engine.EndpointInfo{
+	info := engine.EndpointInfo{
 		Name:      i.ID,
 		Addr:      i.Address,
 		Zone:      i.Zone,
 		Kind:      i.Kind,
-		Cell:      i.Cell,
 		State:     state,
 		Weight:    i.Weight,
 		StartedAt: i.StartedMs * microsPerMillisecond,
 	}
+	if i.Cell != nil {
+		info.Cell = *i.Cell
+		info.CellKnown = true
+	}
+	return info
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -56,6 +56,7 @@
 	client            *http.Client
 	generation        int64 // generation of the latest list of this discovery, or NoGeneration
 	receivedOlderList bool  // a watch started with a list older than generation: the complete list is fetched next
+	fullListFirst     bool  // the first watch begins with the complete list (FetchFullListFirst)
 	maxListBytes      int
 	onUpdate          UpdateFunc
 	log               *slog.Logger
@@ -82,6 +83,10 @@
 	}
 }
 
+// FetchFullListFirst makes the first watch begin with the complete list, even if a generation is known. A complete list
+// that is older than that generation is not passed on. It must be called before the first watch.
+func (w *Watcher) FetchFullListFirst() { w.fullListFirst = true }
+
 // StartAfter sets the generation after which the first watch requests lists. It must be called before the first
 // watch.
 func (w *Watcher) StartAfter(generation int64) { w.generation = generation }
@@ -145,7 +150,7 @@
 	// The connection to an unreachable machine stays open without data, so a timer in this process ends the watch.
 	silenceTimer := time.AfterFunc(w.ResponseTimeout, func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
-	if w.generation == NoGeneration || w.receivedOlderList {
+	if w.generation == NoGeneration || w.receivedOlderList || w.fullListFirst {
 		// Only a complete list removes the endpoints of a previous discovery, or of this discovery before its
 		// restart.
 		if err := w.fetchFullList(ctx, silenceTimer); err != nil {
@@ -207,6 +212,10 @@
 	if err != nil {
 		return err
 	}
+	w.fullListFirst = false
+	if list.Generation < w.generation && !w.receivedOlderList {
+		return nil // the first list of the watch that follows shows whether discovery has restarted
+	}
 	list.Reset = true
 	update := list.EndpointUpdate()
 	// This is the second list in succession that is older than w.generation, so discovery has restarted with
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -36,20 +36,41 @@
 type EndpointInfo struct {
 	Name      string                 `json:"Name"`
 	Addr      string                 `json:"Addr"` // may be empty if State is balancer.Gone
-	Zone      string                 `json:"Zone"`
+	Zone      string                 `json:"Zone"` // "" if it is not known
 	Kind      string                 `json:"Kind"`
-	Cell      uint16                 `json:"Cell"`
+	Cell      uint16                 `json:"Cell"` // valid if HasCell
 	State     balancer.EndpointState `json:"State"`
 	Weight    float32                `json:"Weight"`
 	StartedAt monotime.Micros        `json:"Started"` // Unix time of the latest start; 0 as in balancer.Endpoint
+
+	// CellKnown is set if the list states the cell. Earlier builds do not write it.
+	CellKnown bool `json:"CellKnown,omitempty"`
+	// ZoneAssumed is set if the list does not state the zone, and Zone is an assumption that serves for prices and
+	// for the choice of a subset only.
+	ZoneAssumed bool `json:"ZoneAssumed,omitempty"`
+}
+
+// HasCell reports whether the cell is known. In the snapshot of an earlier build, 0 may be a cell or the lack of one,
+// and counts as unknown.
+func (info *EndpointInfo) HasCell() bool { return info.CellKnown || info.Cell != 0 }
+
+// HasZone reports whether the endpoint is known to be in Zone.
+func (info *EndpointInfo) HasZone() bool { return info.Zone != "" && !info.ZoneAssumed }
+
+// dropGroups makes the zone and the cell unknown. Zone remains as an assumption.
+func (info *EndpointInfo) dropGroups() {
+	info.Cell = 0
+	info.CellKnown = false
+	info.ZoneAssumed = true
 }
 
 // EndpointUpdate is an update of an endpoint list. Generations of one source never decrease.
 type EndpointUpdate struct {
 	Kind             balancer.ListKind
 	Generation       int64
-	NewSource        bool // the update comes from another source, whose generations are independent
-	GenerationsReset bool // with NewSource: the same source has restarted its count of generations
+	Source           string // name of the origin, as PoolConfig.Source; "" is that of the update before
+	NewSource        bool   // the update comes from another source, whose generations are independent
+	GenerationsReset bool   // with NewSource: the same source has restarted its count of generations
 	Endpoints        []EndpointInfo
 }
 
@@ -81,6 +102,7 @@
 		return
 	}
 	p.generation = update.Generation
+	p.dedupGroups.setSource(update.Source)
 	if o := p.engine.config.Observer; o != nil {
 		o.EndpointsUpdated(now, update)
 	}
@@ -121,6 +143,7 @@
 		p.applyExclusion(now, name, e)
 	}
 	p.updateEndpointCount()
+	p.reportUnknownGroups()
 	p.reportReady()
 }
 
@@ -158,7 +181,8 @@
 		ID:        e.Number,
 		Zone:      indexOf(site.Zones, info.Zone),
 		Kind:      indexOf(site.MachineTypes, info.Kind),
-		Cell:      info.Cell,
+		ZoneGroup: p.dedupGroups.zoneGroup(&info),
+		CellGroup: p.dedupGroups.cellGroup(&info),
 		State:     info.State,
 		Share:     info.Weight,
 		StartTime: info.StartedAt,
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -67,6 +67,7 @@
 	byNumber        map[uint32]*Endpoint
 	lastNumber      uint32
 	endpointList    map[string]EndpointInfo // endpoints passed to the balancer, by name
+	dedupGroups     dedupGroups             // of the endpoints in endpointList
 	generation      int64                   // generation of the endpoint list
 	subset          *subsetState            // nil if the whole list is used
 	overload        *overloadState          // nil without overload control
@@ -89,6 +90,7 @@
 		byName:       map[string]*Endpoint{},
 		byNumber:     map[uint32]*Endpoint{},
 		endpointList: map[string]EndpointInfo{},
+		dedupGroups:  newDedupGroups(c.Source),
 	}
 	seed := eng.config.Seed ^ poolSeed(c.Name)
 	if err := p.initConcurrency(eng.config.Concurrency, seed); err != nil {
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -34,7 +34,7 @@
 			p.applyUpdate(now, EndpointUpdate{
 				Kind:       balancer.ListCached,
 				Generation: poolSnapshot.Generation,
-				Endpoints:  poolSnapshot.Endpoints,
+				Endpoints:  p.markKnownCells(poolSnapshot),
 			})
 		}
 		for _, description := range p.restore(now, age, poolSnapshot) {
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -121,6 +121,11 @@
 		Endpoints:  p.sortedEndpoints(),
 		Learned:    p.balancer.LearnedState(now),
 	}
+	if p.dedupGroups.source != p.source { // the endpoints are still those of the source before
+		for i := range s.Endpoints {
+			s.Endpoints[i].dropGroups()
+		}
+	}
 	p.addLearnedSettings(s)
 	names := map[uint32]string{}
 	for name, e := range p.byName {
--- a/internal/engine/snapshot_golden_test.go
+++ b/internal/engine/snapshot_golden_test.go
@@ -48,15 +48,21 @@
 	return s
 }
 
-// fillValue sets v and every field within it to non-zero values. Numbers and strings are derived from a running
-// count, and lists and maps have two entries.
+// laterFields are the fields of EndpointInfo that the earlier build does not have. TestGroupsEncodingIsStable checks
+// their form.
+var laterFields = map[string]bool{"CellKnown": true, "ZoneAssumed": true}
+
+// fillValue sets v and every field within it, except laterFields, to non-zero values. Numbers and strings are derived
+// from a running count, and lists and maps have two entries.
 func fillValue(t *testing.T, v reflect.Value, next *int) {
 	t.Helper()
 	*next++
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			fillValue(t, v.Field(i), next)
+			if !laterFields[v.Type().Field(i).Name] {
+				fillValue(t, v.Field(i), next)
+			}
 		}
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
--- a/internal/experiment/processes/discovery.go
+++ b/internal/experiment/processes/discovery.go
@@ -18,7 +18,7 @@
 		Address: r.endpoints[endpointIndex].listeners[instanceIndex].addr,
 		Zone:    r.plan.Fleet.Zones[planned.Zone],
 		Kind:    r.plan.Scenario.EndpointKinds[planned.Kind].Kind,
-		Cell:    uint16(planned.Cell), Lifecycle: lifecycle, Weight: float32(planned.Config.Cores)}
+		Cell:    new(uint16(planned.Cell)), Lifecycle: lifecycle, Weight: float32(planned.Config.Cores)}
 	if startedAt > 0 {
 		entry.StartedMs = r.wallTime(startedAt).UnixMilli()
 	}
--- a/internal/experiment/soak/fleet.go
+++ b/internal/experiment/soak/fleet.go
@@ -66,6 +66,7 @@
 			Address:   server.Addr,
 			Zone:      "a",
 			Kind:      "m1",
+			Cell:      new(uint16(0)),
 			Lifecycle: "up",
 			Weight:    1,
 		})
--- a/internal/fake/scripteddiscovery/server.go
+++ b/internal/fake/scripteddiscovery/server.go
@@ -92,5 +92,6 @@
 
 // Up returns the list entry of an endpoint that is up.
 func Up(id, addr string) discovery.Instance {
-	return discovery.Instance{ID: id, Address: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
+	cell := uint16(1)
+	return discovery.Instance{ID: id, Address: addr, Zone: "a", Kind: "m1", Cell: &cell, Lifecycle: "up", Weight: 1}
 }
--- a/internal/playground/playground.go
+++ b/internal/playground/playground.go
@@ -217,7 +217,7 @@
 		Address:   s.Addr,
 		Zone:      zones[i%3],
 		Kind:      "std-2c",
-		Cell:      uint16(i / 3),
+		Cell:      new(uint16(i / 3)),
 		Lifecycle: "up",
 		Weight:    1,
 	}
--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -76,20 +76,33 @@
 	}
 }
 
+// cellText returns the number of a cell, or "none".
+func cellText(cell *uint16) string {
+	if cell == nil {
+		return "none"
+	}
+	return fmt.Sprint(*cell)
+}
+
 // A request that may have run is not retried if it is unsafe. If it has an idempotency key, it is retried only at an
-// endpoint of the same cell.
+// endpoint of the same cell, and not where the cells are not known.
 func TestRetriesByRequestClass(t *testing.T) {
+	zero, one, two := new(uint16(0)), new(uint16(1)), new(uint16(2))
 	for _, tc := range []struct {
 		class       string
-		cell        uint16 // cell of the second endpoint
+		cell        *uint16 // cell of the second endpoint
+		firstCell   *uint16
 		maxAttempts int32
 		served      bool
 	}{
-		{"pay", 1, 1, false},
-		{"book", 2, 1, false},
-		{"book", 1, 2, true},
+		{"pay", one, one, 1, false},
+		{"book", two, one, 1, false},
+		{"book", one, one, 2, true},
+		{"book", nil, nil, 1, false},
+		{"book", zero, nil, 1, false},
+		{"book", zero, zero, 2, true},
 	} {
-		t.Run(fmt.Sprint(tc.class, tc.cell), func(t *testing.T) {
+		t.Run(fmt.Sprint(tc.class, cellText(tc.cell), cellText(tc.firstCell)), func(t *testing.T) {
 			var attempts atomic.Int32
 			// The endpoint that gets the first attempt closes its connection without a response.
 			endpoint := func() string {
@@ -100,6 +113,7 @@
 				})
 			}
 			list := instances(endpoint(), endpoint())
+			list[0].Cell = tc.firstCell
 			list[1].Cell = tc.cell
 			s := start(t, configureStatic(t, list))
 			resp, _ := s.request(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -245,7 +245,11 @@
 // watchDiscovery returns a watcher that requests the endpoint lists that follow afterGeneration from the discovery
 // at addr, and passes them to the core. listSource starts the watcher.
 func (s *sidecar) watchDiscovery(addr string, afterGeneration int64) *discovery.Watcher {
-	w := discovery.NewWatcher(addr, afterGeneration, s.config.MemoryMB, s.updateEndpoints, s.log)
+	update := func(ctx context.Context, update engine.EndpointUpdate) {
+		update.Source = addr
+		s.updateEndpoints(ctx, update)
+	}
+	w := discovery.NewWatcher(addr, afterGeneration, s.config.MemoryMB, update, s.log)
 	if s.events != nil {
 		w.OnRequest = s.events.DiscoveryPolled
 	}
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -66,13 +66,14 @@
 func (d *discoveryService) endpointInfo(index int, state balancer.EndpointState) engine.EndpointInfo {
 	planned := &d.run.plan.Endpoints[index]
 	return engine.EndpointInfo{
-		Name:   planned.Name,
-		Addr:   strconv.Itoa(index),
-		Zone:   d.run.plan.Fleet.Zones[planned.Zone],
-		Kind:   d.run.plan.Scenario.EndpointKinds[planned.Kind].Kind,
-		Cell:   uint16(planned.Cell),
-		State:  state,
-		Weight: float32(planned.Config.Cores),
+		Name:      planned.Name,
+		Addr:      strconv.Itoa(index),
+		Zone:      d.run.plan.Fleet.Zones[planned.Zone],
+		Kind:      d.run.plan.Scenario.EndpointKinds[planned.Kind].Kind,
+		Cell:      uint16(planned.Cell),
+		CellKnown: true,
+		State:     state,
+		Weight:    float32(planned.Config.Cores),
 	}
 }
 
--- a/internal/wire/decoder.go
+++ b/internal/wire/decoder.go
@@ -315,12 +315,17 @@
 	stateGone     = 3
 )
 
+// firstGroup is the group of the zone and of the cell with the number 0. An endpoint's zone and cell are always known
+// on the wire.
+const firstGroup = balancer.UnknownGroup + 1
+
 // readEndpoint reads one entry of an endpoint list.
 func (d *Decoder) readEndpoint() (e balancer.Endpoint) {
 	e.ID = d.u32()
 	e.Zone = d.u8()
 	e.Kind = d.u8()
-	e.Cell = d.u16()
+	e.ZoneGroup = firstGroup + balancer.DedupGroup(e.Zone)
+	e.CellGroup = firstGroup + balancer.DedupGroup(d.u16())
 	switch state := d.u8(); state {
 	case stateReady:
 		e.State = balancer.Ready
