A request that arrives in pieces is not evicted for idle connections

Cause: a connection counted as idle until its request was complete. It expired by the idle timeout, which is 100 ms near the limit on idle connections, and was evicted for new ones as soon as what had come so far was read.

Change: a connection on which a request has begun to arrive is marked so (MarkArriving) and is not idle. It does not expire; the timeouts for heads and bodies bound it. It is evicted only at the limit on all connections or on those of its client, after the idle ones and the longest first.

--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"dunlinsail/internal/fake/require"
@@ -251,6 +252,43 @@
 	}
 }
 
+// Guards against idle and new connections that are evicted because many clients have sent parts of requests. Those are
+// evicted only where the number of all connections requires it, after the idle ones and the longest first.
+func TestArrivingRequestsEvictNoIdleConnection(t *testing.T) {
+	table := newTestTable(t, testLimits)
+	o := table.NewOwner(1, 100, 0)
+	idleConn, _ := table.Add(0, o, 0)
+	var arriving []*Conn[int]
+	for i := 1; i < testLimits.MaxConnections; i++ {
+		c, evicted := table.Add(int64(i), o, i)
+		if evicted != nil {
+			t.Fatalf("evicted: %+v", evicted)
+		}
+		table.MarkArriving(c)
+		arriving = append(arriving, c)
+	}
+	if _, busy := table.Counts(); busy != 0 {
+		t.Errorf("%d busy, want none", busy)
+	}
+	for i, want := range []*Conn[int]{idleConn, arriving[0], arriving[1]} {
+		c, evicted := table.Add(int64(100+i), o, 100+i)
+		if evicted != want {
+			t.Errorf("evicted: %+v, want connection %d", evicted, want.Value)
+		}
+		table.MarkArriving(c)
+	}
+	if c, _ := table.RemoveExpired(1 << 40); c != nil {
+		t.Errorf("connection %d expired while a request was arriving", c.Value)
+	}
+	full := table.NewOwner(1, 1, 0)
+	table.Remove(arriving[2])
+	only, _ := table.Add(200, full, 200)
+	table.MarkArriving(only)
+	if _, evicted := table.Add(201, full, 201); evicted != only {
+		t.Errorf("at the limit of the owner: %+v evicted, want its only connection", evicted)
+	}
+}
+
 // without returns a list of connections without the given connection.
 func without(conns []*Conn[int], c *Conn[int]) []*Conn[int] {
 	for i := range conns {
@@ -261,10 +299,14 @@
 	return conns
 }
 
-// checkCounts compares the counts of a table with the expected idle and busy connections, and both with the
+// checkCounts compares the counts of the table with the expected idle, arriving and busy connections, and all with the
 // limits.
-func checkCounts(t *testing.T, seed uint64, table *Table[int], owners []*Owner[int], idle, busy []*Conn[int]) {
+func (r *randomRun) checkCounts(t *testing.T, seed uint64) {
 	t.Helper()
+	table := r.table
+	owners := r.owners
+	idle := r.idle
+	busy := slices.Concat(r.arriving, r.busy)
 	recounted := map[*Owner[int]][2]int{}
 	for _, c := range idle {
 		n := recounted[c.owner]
@@ -283,53 +325,79 @@
 	}
 	total, withOpenRequest := table.Counts()
 	overLimits := total > table.limits.MaxConnections || len(idle) > table.limits.MaxIdle
-	if total != len(idle)+len(busy) || withOpenRequest != len(busy) || overLimits {
+	if total != len(idle)+len(busy) || withOpenRequest != len(r.busy) || overLimits {
 		t.Fatalf("seed %d: %d connections, %d busy; counted %d and %d; limits %+v",
 			seed, total, withOpenRequest, len(idle)+len(busy), len(busy), table.limits)
 	}
 }
 
-// randomRun applies random events to a table, and tracks which of its connections are expected to be idle and
-// busy.
+// randomRun applies random events to a table, and tracks which of its connections are expected to be idle, to have an
+// arriving request, and to be busy.
 type randomRun struct {
-	rng    *rand.Rand
-	table  *Table[int]
-	owners []*Owner[int]
-	idle   []*Conn[int]
-	busy   []*Conn[int]
-	now    int64
+	rng      *rand.Rand
+	table    *Table[int]
+	owners   []*Owner[int]
+	idle     []*Conn[int]
+	arriving []*Conn[int]
+	busy     []*Conn[int]
+	now      int64
 }
 
 // step applies one random event.
 func (r *randomRun) step(t *testing.T, value int) {
 	t.Helper()
 	r.now += int64(r.rng.IntN(40))
-	switch r.rng.IntN(5) {
+	switch r.rng.IntN(7) {
 	case 0, 1:
 		c, evicted := r.table.Add(r.now, r.owners[r.rng.IntN(3)], value)
 		r.idle = without(r.idle, evicted)
+		r.arriving = without(r.arriving, evicted)
 		if c != nil {
 			r.idle = append(r.idle, c)
 		}
+		r.idle = without(r.idle, r.table.EvictExcessIdle())
 	case 2:
 		r.markAnyBusy(t)
 	case 3:
 		r.markAnyIdle()
 	case 4:
 		r.expireOrRemove()
+	case 5:
+		r.markAnyArriving()
+	case 6:
+		r.markAnyAnswered()
+	}
+}
+
+// markAnyArriving records that a request begins to arrive on a random idle connection.
+func (r *randomRun) markAnyArriving() {
+	if len(r.idle) > 0 {
+		c := r.idle[r.rng.IntN(len(r.idle))]
+		r.table.MarkArriving(c)
+		r.idle = without(r.idle, c)
+		r.arriving = append(r.arriving, c)
+	}
+}
+
+// markAnyAnswered records the last response on a random connection without an open request.
+func (r *randomRun) markAnyAnswered() {
+	if conns := slices.Concat(r.idle, r.arriving); len(conns) > 0 {
+		r.table.MarkAnswered(conns[r.rng.IntN(len(conns))])
 	}
 }
 
-// markAnyBusy marks a random idle connection as busy.
+// markAnyBusy marks a random connection without an open request as busy.
 func (r *randomRun) markAnyBusy(t *testing.T) {
 	t.Helper()
-	if len(r.idle) == 0 {
+	conns := slices.Concat(r.idle, r.arriving)
+	if len(conns) == 0 {
 		return
 	}
-	c := r.idle[r.rng.IntN(len(r.idle))]
+	c := conns[r.rng.IntN(len(conns))]
 	r.idle = without(r.idle, c)
+	r.arriving = without(r.arriving, c)
 	if !r.table.MarkBusy(c) {
-		t.Fatal("an idle connection was not marked busy")
+		t.Fatal("a connection without an open request was not marked busy")
 	}
 	r.busy = append(r.busy, c)
 }
@@ -370,7 +438,7 @@
 		}
 		for step := range 400 {
 			r.step(t, step)
-			checkCounts(t, seed, r.table, r.owners, r.idle, r.busy)
+			r.checkCounts(t, seed)
 		}
 	}
 }
--- a/internal/decide/connlimit/eviction.go
+++ b/internal/decide/connlimit/eviction.go
@@ -1,17 +1,61 @@
 package connlimit
 
-import "dunlinsail/internal/monotime"
+import (
+	"container/list"
 
-// Evictable returns the connection to evict first: one that MarkAnswered has marked, or else the result of NextIdle.
+	"dunlinsail/internal/monotime"
+)
+
+// Evictable returns the connection to evict first: one that MarkAnswered has marked, else the result of NextIdle, else
+// the one on which a request has been arriving for longest. It returns nil if all connections have an open request.
 func (t *Table[T]) Evictable() *Conn[T] {
 	if first := t.answered.Front(); first != nil {
 		return first.Value.(*Conn[T])
 	}
+	if idle := t.NextIdle(); idle != nil {
+		return idle
+	}
+	return t.firstOf(t.arriving, nil)
+}
+
+// idleToEvict returns the idle connection to evict first: one that MarkAnswered has marked, or else the result of
+// NextIdle.
+func (t *Table[T]) idleToEvict() *Conn[T] {
+	for element := t.answered.Front(); element != nil; element = element.Next() {
+		if c := element.Value.(*Conn[T]); c.idleElement != nil {
+			return c
+		}
+	}
 	return t.NextIdle()
 }
 
+// EvictExcessIdle removes and returns an idle connection if more than Limits.MaxIdle are idle, or returns nil. That may
+// be so after Add has evicted a connection that was not idle. The caller must close the connection.
+func (t *Table[T]) EvictExcessIdle() *Conn[T] {
+	if t.idle <= t.limits.MaxIdle {
+		return nil
+	}
+	evicted := t.idleToEvict()
+	if evicted != nil {
+		t.Remove(evicted)
+	}
+	return evicted
+}
+
+// firstOf returns the first connection of a list that belongs to an owner, or to any if owner is nil, and that may be
+// closed without losing a request. It returns nil if there is none.
+func (t *Table[T]) firstOf(conns *list.List, owner *Owner[T]) *Conn[T] {
+	for element := conns.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*Conn[T])
+		if (owner == nil || c.owner == owner) && t.confirmIdle(c.Value) {
+			return c
+		}
+	}
+	return nil
+}
+
 // NextIdle returns the idle connection to close first (evictionCandidate), after the caller has confirmed that it is
-// idle. It returns nil if all connections have an open request.
+// idle. It returns nil if no connection is idle.
 func (t *Table[T]) NextIdle() *Conn[T] {
 	for {
 		candidate := t.evictionCandidate()
@@ -22,16 +66,21 @@
 	}
 }
 
-// evictableOf returns the longest idle connection of an owner that the caller confirms to be idle, or nil if
-// all its connections have an open request.
+// evictableOf returns the connection of an owner to evict first, in the order of Evictable, or nil if all its
+// connections have an open request.
 func (t *Table[T]) evictableOf(o *Owner[T]) *Conn[T] {
-	for {
-		candidate := t.longestIdle(o)
-		if candidate == nil || t.confirmIdle(candidate.Value) {
+	for element := t.answered.Front(); element != nil; element = element.Next() {
+		if c := element.Value.(*Conn[T]); c.owner == o {
+			return c
+		}
+	}
+	for candidate := t.longestIdle(o); candidate != nil; candidate = t.longestIdle(o) {
+		if t.confirmIdle(candidate.Value) {
 			return candidate
 		}
 		t.MarkBusy(candidate)
 	}
+	return t.firstOf(t.arriving, o)
 }
 
 // evictionCandidate returns the connection to evict first, which the caller has yet to confirm to be idle: the
--- a/internal/decide/connlimit/owner.go
+++ b/internal/decide/connlimit/owner.go
@@ -33,6 +33,7 @@
 	idleElement   *list.Element // element of owner.idle; nil while a request is open
 	removed       bool          // the connection was removed from the table
 
+	arrivingElement *list.Element // element of Table.arriving; nil unless a request is arriving
 	answeredElement *list.Element // element of Table.answered; nil unless MarkAnswered was called
 }
 
--- a/internal/decide/connlimit/table.go
+++ b/internal/decide/connlimit/table.go
@@ -14,12 +14,13 @@
 	limits      Limits
 	confirmIdle func(T) bool // whether no unread request has arrived (New)
 	idleOwners  []*Owner[T]  // owners with idle connections
-	busy        int          // number of connections with an open request
-	idle        int          // number of connections without an open request
+	busy        int          // number of connections with an open or arriving request
+	idle        int          // number of connections without any request
 	connections map[*Conn[T]]struct{}
 
 	reservedBytes int64      // of all connections
-	answered      *list.List // idle connections (*Conn[T]) that MarkAnswered has marked, in that order
+	arriving      *list.List // connections (*Conn[T]) that MarkArriving has marked, in that order
+	answered      *list.List // connections (*Conn[T]) that MarkAnswered has marked, in that order
 }
 
 // New returns an empty table, or an error if the limits are invalid. confirmIdle is called before a connection
@@ -33,7 +34,7 @@
 		confirmIdle = func(T) bool { return true }
 	}
 	return &Table[T]{limits: l, confirmIdle: confirmIdle, connections: map[*Conn[T]]struct{}{},
-		answered: list.New()}, nil
+		arriving: list.New(), answered: list.New()}, nil
 }
 
 // NewOwner returns a new owner with at most maxConnections connections and maxBytes reserved bytes; 0 bytes
@@ -52,12 +53,12 @@
 }
 
 // Counts returns the number of connections in the table, and the number of those with an open request.
-func (t *Table[T]) Counts() (total, busy int) { return t.busy + t.idle, t.busy }
+func (t *Table[T]) Counts() (total, busy int) { return t.busy + t.idle, t.busy - t.arriving.Len() }
 
 // Add decides whether a new connection of an owner is kept, and which other connection is closed in its place.
-// If the limit of its owner is reached, an idle connection of that owner is evicted; if a limit of the table is
-// reached, an idle connection of any owner. If no connection can be evicted, the new one is not kept, unless
-// only the limit on idle connections is reached. A new connection is idle until its first request is complete.
+// If the limit of its owner is reached, a connection of that owner without an open request is evicted; if a limit of
+// the table is reached, one of any owner. If no connection can be evicted, the new one is not kept, unless only the
+// limit on idle connections is reached. A new connection is idle until its first request begins to arrive.
 //
 // Add returns the connection, or nil if it is not kept, and the evicted connection, or nil. The caller must
 // close the evicted connection.
@@ -68,11 +69,13 @@
 		if evicted == nil {
 			return nil, nil
 		}
-	case t.busy+t.idle >= t.limits.MaxConnections || t.idle >= t.limits.MaxIdle:
+	case t.busy+t.idle >= t.limits.MaxConnections:
 		evicted = t.Evictable()
-		if evicted == nil && t.busy+t.idle >= t.limits.MaxConnections {
+		if evicted == nil {
 			return nil, nil
 		}
+	case t.idle >= t.limits.MaxIdle:
+		evicted = t.idleToEvict()
 	}
 	if evicted != nil {
 		t.Remove(evicted)
@@ -89,31 +92,67 @@
 	if c.removed {
 		return false
 	}
-	if c.idleElement != nil { // nil if confirmIdle has already reported the request
+	t.leaveIdle(c)
+	t.removeArriving(c)
+	t.removeAnswered(c)
+	return true
+}
+
+// leaveIdle counts a connection as busy if it was idle.
+func (t *Table[T]) leaveIdle(c *Conn[T]) {
+	if c.idleElement != nil {
 		t.removeIdle(c)
 		c.owner.busy++
 		t.busy++
 	}
-	return true
 }
 
-// MarkAnswered records that the last response on an idle connection has been written, so that it is evicted before all
-// others: its client has its response, and a connection on which a request may be about to arrive is kept instead.
+// MarkArriving records that a request has begun to arrive on a connection. The connection is not idle any more, so that
+// slow or incomplete requests evict no connection that is, but may be evicted itself until the request is open.
+func (t *Table[T]) MarkArriving(c *Conn[T]) {
+	if c.removed || c.arrivingElement != nil {
+		return
+	}
+	t.leaveIdle(c)
+	c.arrivingElement = t.arriving.PushBack(c)
+}
+
+// removeArriving removes a connection from those on which a request arrives, if it is among them.
+func (t *Table[T]) removeArriving(c *Conn[T]) {
+	if c.arrivingElement != nil {
+		t.arriving.Remove(c.arrivingElement)
+		c.arrivingElement = nil
+	}
+}
+
+// MarkAnswered records that the last response on a connection without an open request has been written, so that it is
+// evicted before all others: its client has its response, and a connection on which a request may be about to arrive is
+// kept instead.
 func (t *Table[T]) MarkAnswered(c *Conn[T]) {
-	if !c.removed && c.idleElement != nil && c.answeredElement == nil {
+	hasOpenRequest := c.idleElement == nil && c.arrivingElement == nil
+	if !c.removed && !hasOpenRequest && c.answeredElement == nil {
 		c.answeredElement = t.answered.PushBack(c)
 	}
 }
 
+// removeAnswered removes a connection from those that MarkAnswered has marked, if it is among them.
+func (t *Table[T]) removeAnswered(c *Conn[T]) {
+	if c.answeredElement != nil {
+		t.answered.Remove(c.answeredElement)
+		c.answeredElement = nil
+	}
+}
+
 // MarkIdle records that the request on a connection has its response, and releases the reserved bytes of the
 // connection. If Limits.MaxIdle connections are already idle, it evicts one of them and returns it: the caller
 // must close it. Otherwise it returns nil.
 func (t *Table[T]) MarkIdle(now monotime.Micros, c *Conn[T]) (evicted *Conn[T]) {
+	t.removeArriving(c)
 	c.owner.busy--
 	t.busy--
 	t.releaseBytes(c)
 	if t.idle >= t.limits.MaxIdle {
-		evicted = t.Evictable()
+		evicted = t.idleToEvict()
 		if evicted != nil {
 			t.Remove(evicted)
 		}
@@ -162,9 +201,8 @@
 		return
 	}
 	c.removed = true
-	if c.answeredElement != nil {
-		t.answered.Remove(c.answeredElement)
-	}
+	t.removeAnswered(c)
+	t.removeArriving(c)
 	delete(t.connections, c)
 	t.releaseBytes(c)
 	if c.idleElement != nil {
--- a/internal/frontend/http1/connmanager.go
+++ b/internal/frontend/http1/connmanager.go
@@ -70,6 +70,7 @@
 	defer m.mu.Unlock()
 	entry, evicted := m.table.Add(m.clock.Now(), client.connOwner, c)
 	m.closeWithReasonLocked(evicted, closedEvicted)
+	m.closeWithReasonLocked(m.table.EvictExcessIdle(), closedEvicted)
 	if entry == nil {
 		m.closedByReason[closedRejected]++
 		netConn.Close() // no other connection can be evicted for it: all have requests in flight
--- a/internal/frontend/http1/connmanager_test.go
+++ b/internal/frontend/http1/connmanager_test.go
@@ -75,6 +75,9 @@
 				return
 			}
 			received <- b[0]
+			if !m.markBusy(c) || !m.finishRequest(c) { // as in serveRequest: the byte stands for a request
+				return
+			}
 		}
 	}
 }
@@ -131,6 +134,47 @@
 	}
 }
 
+// Guards against a request that arrives in pieces being closed in between since other clients connect and say nothing.
+// Only the limit on all connections closes it, after all idle ones.
+func TestArrivingRequestIsNotEvictedForIdleConnections(t *testing.T) {
+	const maxConnections = 4
+	started := make(chan *conn, maxConnections+1)
+	testEnded := make(chan struct{})
+	limits := connlimit.Limits{MaxConnections: maxConnections, MaxIdle: 1, MaxIdleTime: 1e9, MinIdleTime: 1e9}
+	ct := newManagerFixture(t, limits, func(m *connManager, c *conn) {
+		if m.awaitRequest(c, time.Time{}) {
+			_, _ = c.input.Read(make([]byte, 100))
+			started <- c
+			_, _ = c.input.Read(make([]byte, 1)) // until the connection is closed
+		}
+		<-testEnded
+	})
+	defer close(testEnded)
+	var arriving []*conn
+	for range maxConnections {
+		io.WriteString(ct.connect(t), "GET / HT")
+		c := scriptedpeer.Receive(t, started, "the first piece of a request")
+		scriptedpeer.Eventually(t, "the server's second read", c.input.allBytesExamined)
+		arriving = append(arriving, c)
+		for range 2 * maxConnections {
+			ct.connect(t) // evicts the silent connection before it
+		}
+	}
+	isOpen := func(c *conn) bool {
+		ct.mu.Lock()
+		defer ct.mu.Unlock()
+		return ct.table.MarkBusy(c.tableEntry)
+	}
+	if isOpen(arriving[0]) {
+		t.Error("the first request has not been evicted at the limit on all connections")
+	}
+	for i, c := range arriving[1:] {
+		if !isOpen(c) {
+			t.Errorf("request %d of %d was evicted", i+2, maxConnections)
+		}
+	}
+}
+
 // evictionCase describes the state of an idle connection when another connection exceeds the limit.
 type evictionCase struct {
 	input            string
--- a/internal/frontend/http1/handoff.go
+++ b/internal/frontend/http1/handoff.go
@@ -44,7 +44,7 @@
 	if c.buffer != nil {
 		c.input.turn.Yield()
 		m.mu.Lock()
-		c.requestStarted = true
+		m.setRequestStartedLocked(c, true)
 		m.mu.Unlock()
 		return true // bytes of the next request have already been read
 	}
@@ -64,7 +64,7 @@
 		arrived := err == nil || timedOut && !c.input.allBytesExamined() // a byte may arrive at the deadline
 		c.awaitingRequest = false
 		c.waitInterrupted = false
-		c.requestStarted = arrived && !waitAgain
+		m.setRequestStartedLocked(c, arrived && !waitAgain)
 		m.mu.Unlock()
 		if !waitAgain {
 			return arrived
@@ -72,6 +72,14 @@
 	}
 }
 
+// setRequestStartedLocked records whether a request has started to arrive on a connection.
+func (m *connManager) setRequestStartedLocked(c *conn, started bool) {
+	c.requestStarted = started
+	if started {
+		m.table.MarkArriving(c.tableEntry)
+	}
+}
+
 // startWaitOrHandoff marks a connection as waiting for a request and sets its read deadline. If the connection
 // has not been offered in the current handoff round, it returns the handoff function instead; the caller offers
 // the connection to it and calls startWaitOrHandoff again if it is not accepted.
