Requests that are open at the end of the daemon's drain get a response

Cause: the defaults of takeover.drain_within (5 s) and of give_up on routes (30 s) did not know each other, and at the end of the drain connections were closed, whatever was open on them.

Change: without the key the drain outlasts the longest give_up by 0.5 s, at least 5 s, and with a maintenance plan at most what the plan allows. At its end each request without a response gets one: 503 if no attempt was made, else 504.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,6 +78,7 @@
 	}
 	c.Text = text
 	c.setRouteDefaults()
+	c.setDrainTimeout()
 	v := &validator{stricttoml.Validation{Lines: lines}}
 	v.config(&c)
 	if err := v.Err(); err != nil {
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -24,7 +24,7 @@
 		Name:         "dunlinsaild",
 		Process:      Process{Memory: stricttoml.Size{Bytes: 256 << 20}, Descriptors: 4096},
 		Discovery:    Discovery{Mode: "watch"},
-		Takeover:     Takeover{ReadyTimeout: seconds(10), DrainTimeout: seconds(5)},
+		Takeover:     Takeover{ReadyTimeout: seconds(10), DrainTimeout: unsetDrainTimeout},
 		AccessLog:    defaultAccessLog(),
 		ControlPlane: defaultControlPlane(),
 		Connections:  Connections{MaxIdleTime: seconds(15), MinIdleTime: millis(100)},
--- a/internal/config/host.go
+++ b/internal/config/host.go
@@ -39,7 +39,9 @@
 	// serve. It must be positive; the default is 10s.
 	ReadyTimeout stricttoml.Duration `toml:"ready_within"`
 
-	// DrainTimeout is the time within which the old process must finish its open requests. The default is 5s.
+	// DrainTimeout is the time within which the old process must finish its open requests. What has no response by
+	// then is answered 503 or 504, and what streams is broken off. Without the key it is 500ms over the longest
+	// Class.ClientTimeout, and at least 5s; Config.setDrainTimeout.
 	DrainTimeout stricttoml.Duration `toml:"drain_within"`
 }
 
--- a/internal/config/validate_fleet.go
+++ b/internal/config/validate_fleet.go
@@ -112,8 +112,7 @@
 		"a plan must outlive a single instance: 3, 5 or 7 are needed")
 	v.Require(slices.Contains(c.Peers.Allocators, c.Name) == (plan.StateFile != ""), "work.state",
 		"is for the instances that peers.lenders names, and needed there")
-	maxDrain := plan.Lease.Duration + plan.InFlightGrace.Duration
-	v.Require(c.Takeover.Socket == "" || c.Takeover.DrainTimeout.Duration <= maxDrain, "takeover.drain_within",
+	v.Require(c.Takeover.Socket == "" || c.Takeover.DrainTimeout.Duration <= plan.maxDrain(), "takeover.drain_within",
 		"%v: a process that is replaced must end within work.lease and work.quiet together, %v",
-		c.Takeover.DrainTimeout, maxDrain)
+		c.Takeover.DrainTimeout, plan.maxDrain())
 }
--- a/internal/config/warnings.go
+++ b/internal/config/warnings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Warning reports a valid setting with a cost that is not evident from the file.
@@ -14,8 +15,11 @@
 // String returns the key and the reason.
 func (w Warning) String() string { return w.Key + ": " + w.Reason }
 
-// Warnings returns the warnings for a valid configuration, in the order of its classes and pools.
+// Warnings returns the warnings for a valid configuration, those of its classes in their order.
 func (c *Config) Warnings() (warnings []Warning) {
+	if class, timeout := c.longestClientTimeout(); c.Takeover.DrainTimeout.Duration < timeout {
+		warnings = append(warnings, c.drainWarning(class, timeout))
+	}
 	for i := range c.Classes {
 		for j := range c.Pools {
 			if c.lacksGroups(&c.Classes[i], &c.Pools[j]) {
@@ -26,6 +30,16 @@
 	return warnings
 }
 
+// drainWarning returns the warning that clients of a class may wait for longer than a process that ends.
+func (c *Config) drainWarning(class string, timeout time.Duration) Warning {
+	const reason = "%v: clients of class %q wait for %v; a request that is open for longer after SIGTERM, a hot " +
+		"restart or a SIGHUP that needs a new generation is answered 503 or 504"
+	return Warning{
+		Key:    "takeover.drain_within",
+		Reason: fmt.Sprintf(reason, c.Takeover.DrainTimeout, class, timeout),
+	}
+}
+
 // groupWarning returns the warning that a pool's list does not state the group in which a class is retried.
 func groupWarning(classIndex int, group, pool string) Warning {
 	const reason = "%[1]q: pool %[2]q has a list of addresses, which names no %[1]s: a request that may have run is " +
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -19,6 +19,9 @@
 	})
 }
 
+// ExpireAll gives all requests without a final response one (engine.Engine.ExpireAll), and returns their number.
+func (core *Core) ExpireAll() int { return query(core, core.engine.ExpireAll) }
+
 // CancelHandover cancels the handover that SnapshotForHandover started, if the successor does not take over.
 // The requests of the transferred warm-up budget count as sent.
 func (core *Core) CancelHandover() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"dunlinsail/internal/config"
 	"dunlinsail/internal/fake/discoveryserver"
 	"dunlinsail/internal/fake/endpoint"
 	"dunlinsail/internal/fake/require"
@@ -204,6 +205,41 @@
 	checkEnded(t, d.ended, "end of the daemon")
 }
 
+// Guards against a request that is closed without a response since it is still open at the end of drain_within.
+func TestRequestOpenAtTheEndOfTheDrainIsAnswered(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, d *runningDaemon, c, changed *config.Config){
+		"stop":           func(_ *testing.T, d *runningDaemon, _, _ *config.Config) { d.stop() },
+		"new generation": func(t *testing.T, d *runningDaemon, _, changed *config.Config) {
+			t.Helper()
+			d.applyConfig(t, changed)
+		},
+		"hot restart": func(t *testing.T, _ *runningDaemon, c, _ *config.Config) {
+			t.Helper()
+			_, serving := launchDaemon(t, c, testLog())
+			scriptedpeer.Receive(t, serving, "the second daemon")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			fleet := newTestFleet(t, 1, endpoint.Options{})
+			held := make(chan struct{}, 1)
+			fleet.holdRequests("/pay/1", held, release)
+			edits := []string{"127.0.0.1:0", freeAddr(t), `drain_within = "3s"`, `drain_within = "400ms"`,
+				`give_up = "1s"`, `give_up = "20s"`}
+			c := fleet.config(t, edits...)
+			d := startDaemon(t, c)
+			conn := dial(t, "tcp", d.addrs["desk"])
+			conn.send(t, requestText("pay", 20000, ""))
+			scriptedpeer.Receive(t, held, "attempt at the endpoint")
+			end(t, d, c, fleet.config(t, append(edits, "in_flight = 64", "in_flight = 48")...))
+			if resp, _ := conn.readResponse(t); resp.StatusCode != 504 {
+				t.Errorf("response: %s, want 504", resp.Status)
+			}
+		})
+	}
+}
+
 // A changed configuration file changes the limits of clients and the discovery while the daemon serves. A file
 // that cannot be read changes nothing.
 func TestReload(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"dunlinsail/internal/decide/cordon"
 	"dunlinsail/internal/decide/fairqueue"
@@ -122,6 +124,27 @@
 	eng.dispatchQueued(now)
 }
 
+// ExpireAll gives all requests without a final response one, because the process ends before their time is over: those
+// without an attempt are rejected, the others time out. It returns their number.
+func (eng *Engine) ExpireAll(now monotime.Micros) (expired int) {
+	eng.now = now
+	for _, id := range slices.Sorted(maps.Keys(eng.calls)) {
+		c := eng.calls[id]
+		if c == nil || c.finished {
+			continue
+		}
+		response := Response{Verdict: TimedOut}
+		if len(c.attempts) == 0 {
+			response = Response{Verdict: Rejected, Reason: "the process ends"}
+		}
+		eng.respond(c, response)
+		eng.withdraw(now, c)
+		expired++
+	}
+	eng.dispatchQueued(now)
+	return expired
+}
+
 // withdraw tells the balancer, if it has the request, that the request has ended without a decision of it.
 func (eng *Engine) withdraw(now monotime.Micros, c *Call) {
 	if c.admittedAt > 0 {
--- a/internal/engine/finalresponse_test.go
+++ b/internal/engine/finalresponse_test.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
 )
 
@@ -208,3 +210,30 @@
 		t.Errorf("verdict %v with %d open calls, want %v and none", verdict, engine.OpenCalls(), TimedOut)
 	}
 }
+
+// Guards against requests without a response when the process ends: one that is queued is rejected, one with an attempt
+// times out, and nothing is sent any more.
+func TestExpireAll(t *testing.T) {
+	const inFlight, queued = 2, 1
+	host := &recordingHost{responses: map[string]Response{}}
+	engine := New(Config{Site: tenantSite(0, 1, 0), Seed: 1, Host: host,
+		Concurrency: ConcurrencySettings{MaxOpen: 1000, MaxInFlight: inFlight}})
+	pool, err := engine.NewPool(PoolConfig{InitialEndpoints: EndpointUpdate{Generation: -1}, SetWatch: func(bool) {}})
+	require.NoError(t, err)
+	pool.Start(0)
+	pool.UpdateEndpoints(0, EndpointUpdate{Kind: balancer.ListFull, Generation: 1,
+		Endpoints: []EndpointInfo{readyAt("e0", "a")}})
+	for i := range inFlight + queued {
+		submit(t, engine, pool, 1_000, fmt.Sprint(i), 1)
+	}
+	if expired := engine.ExpireAll(2_000); expired != inFlight+queued || len(host.started) != inFlight {
+		t.Errorf("%d expired, %d attempts; want %d and %d", expired, len(host.started), inFlight+queued, inFlight)
+	}
+	verdicts := map[Verdict]int{}
+	for _, response := range host.responses {
+		verdicts[response.Verdict]++
+	}
+	if verdicts[TimedOut] != inFlight || verdicts[Rejected] != queued || engine.ExpireAll(3_000) != 0 {
+		t.Errorf("verdicts %v", verdicts)
+	}
+}
