--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -208,7 +208,7 @@
 // Guards against a request that is closed without a response since it is still open at the end of drain_within.
 func TestRequestOpenAtTheEndOfTheDrainIsAnswered(t *testing.T) {
 	for name, end := range map[string]func(t *testing.T, d *runningDaemon, c, changed *config.Config){
-		"stop":           func(_ *testing.T, d *runningDaemon, _, _ *config.Config) { d.stop() },
+		"stop": func(_ *testing.T, d *runningDaemon, _, _ *config.Config) { d.stop() },
 		"new generation": func(t *testing.T, d *runningDaemon, _, changed *config.Config) {
 			t.Helper()
 			d.applyConfig(t, changed)
--- a/internal/daemon/finalresponse_test.go
+++ b/internal/daemon/finalresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -49,14 +50,14 @@
 // Guards against a client being answered 503 with X-Never-Ran, which an endpoint said of one attempt, after another
 // attempt of its request may have run.
 func TestFinalResponseOnRoutes(t *testing.T) {
-	base, _, _ := strings.Cut(onePoolConfig, "[[route]]")
+	base, _, _ := strings.Cut(onePoolConfig, "endpoints = ")
 	for _, test := range orderTests {
 		for _, order := range test.orders {
 			t.Run(fmt.Sprint(test.class, ": ", order), func(t *testing.T) {
 				t.Parallel()
-				addrs := `"` + strings.Join(order.Start(t), `", "`) + `"`
-				edits := append([]string{"ADDRS", addrs}, orderEdits...)
-				_, addr := startRoutedDaemon(t, base+orderRoutes+fleetConfig, edits...)
+				addrs := order.Start(t)
+				list := fileList(t, addrs, slices.Repeat([]string{`,"cell":1`}, len(addrs)))
+				_, addr := startRoutedDaemon(t, base+list+orderRoutes+fleetConfig, orderEdits...)
 				response, _ := dial(t, "tcp", addr).roundTrip(t, requestText(test.class, order.TimeoutMs(), ""))
 				order.Check(t, response, order.Routed)
 				if local := response.StatusCode == 502 || response.StatusCode == 504; local &&
--- a/internal/daemon/keyed_retries_test.go
+++ b/internal/daemon/keyed_retries_test.go
@@ -49,8 +49,8 @@
 	})
 }
 
-// fileList writes a file with a list of two endpoints, each with further keys, and returns the setting that names it.
-func fileList(t *testing.T, addrs [2]string, keys [2]string) string {
+// fileList writes a file with a list of endpoints, each with further keys, and returns the setting that names it.
+func fileList(t *testing.T, addrs, keys []string) string {
 	t.Helper()
 	var instances []string
 	for i, addr := range addrs {
@@ -65,18 +65,18 @@
 // Guards against a keyed request that takes effect twice since its answer got lost and the list does not state which
 // endpoints drop its repeats, and against one that is not retried although the list states them.
 func TestKeyedRetriesByKindOfList(t *testing.T) {
-	static := func(_ *testing.T, addrs [2]string) string {
+	static := func(_ *testing.T, addrs []string) string {
 		return fmt.Sprintf("endpoints = [%q, %q]", addrs[0], addrs[1])
 	}
-	file := func(first, second string) func(t *testing.T, addrs [2]string) string {
-		return func(t *testing.T, addrs [2]string) string {
+	file := func(first, second string) func(t *testing.T, addrs []string) string {
+		return func(t *testing.T, addrs []string) string {
 			t.Helper()
-			return fileList(t, addrs, [2]string{first, second})
+			return fileList(t, addrs, []string{first, second})
 		}
 	}
 	for name, tc := range map[string]struct {
 		group string
-		list  func(t *testing.T, addrs [2]string) string
+		list  func(t *testing.T, addrs []string) string
 		runs  int32
 	}{
 		"static, cell":         {"cell", static, 1},
@@ -92,7 +92,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int32
-			addrs := [2]string{startLosingEndpoint(t, &runs), startLosingEndpoint(t, &runs)}
+			addrs := []string{startLosingEndpoint(t, &runs), startLosingEndpoint(t, &runs)}
 			_, addr := startRoutedDaemon(t, keyedRouteConfig, "GROUP", tc.group, "LIST", tc.list(t, addrs))
 			resp, _ := dial(t, "tcp", addr).roundTrip(t,
 				"POST /visits HTTP/1.1\r\nHost: h\r\nIdempotency-Key: visit-1\r\nContent-Length: 2\r\n\r\n{}")
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -70,6 +70,9 @@
 		poolSnapshot := snapshot.Pool(name)
 		if poolSnapshot != nil && p.firstWatcher != nil && poolSnapshot.Source == p.config.Source() {
 			p.firstWatcher.StartAfter(poolSnapshot.Generation)
+			if poolSnapshot.LacksCells() {
+				p.firstWatcher.FetchFullListFirst()
+			}
 		}
 	}
 }
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net"
-	"slices"
 
-	"dunlinsail/internal/engine"
 	"dunlinsail/internal/takeover"
 )
 
@@ -23,8 +21,8 @@
 	if state, err := takeover.DecodeState(l.offeredSnapshot); err == nil {
 		if pool := state.Snapshot.Pool(""); pool != nil && pool.Source == s.config.Discovery {
 			s.firstWatcher.StartAfter(pool.Generation)
-			if slices.ContainsFunc(pool.Endpoints, func(e engine.EndpointInfo) bool { return !e.HasCell() }) {
-				s.firstWatcher.FetchFullListFirst() // an earlier build does not store whether a cell 0 is known
+			if pool.LacksCells() {
+				s.firstWatcher.FetchFullListFirst()
 			}
 		}
 	}
