--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -58,8 +58,8 @@
 	UnloadedLatency  map[string]float64 `json:"Alone"` // latency by class at very low load, in microseconds
 }
 
-// LacksCells reports whether the cell of an endpoint is not known. The complete list may state it: an earlier build does
-// not store whether a cell 0 is known.
+// LacksCells reports whether the cell of an endpoint is not known. The complete list may state it: an earlier build
+// does not store whether a cell 0 is known.
 func (s *PoolSnapshot) LacksCells() bool {
 	return slices.ContainsFunc(s.Endpoints, func(info EndpointInfo) bool { return !info.HasCell() })
 }
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"sync"
 
 	"dunlinsail/internal/admin"
 	"dunlinsail/internal/decide/cordon"
@@ -34,7 +33,7 @@
 	case !inList:
 		return admin.ErrUnknownEndpoint
 	}
-	s.lifecycle.cordonPeers.broadcast(record)
+	s.lifecycle.cordonPeers.Broadcast(record)
 	s.saveCordons(ctx)
 	return nil
 }
@@ -101,42 +100,3 @@
 	}
 	l.sidecar.core.ReceiveCordons(cordons...)
 }
-
-// cordonPeers is the set of connections to other processes of this sidecar, to which cordons are sent. Its methods
-// may be called from any goroutine.
-type cordonPeers struct {
-	mu    sync.Mutex
-	conns []*takeover.Conn // elements are never overwritten, because broadcast reads the slice without mu
-}
-
-func (p *cordonPeers) add(conn *takeover.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conns = append(p.conns, conn)
-}
-
-func (p *cordonPeers) remove(conn *takeover.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, other := range p.conns {
-		if other == conn {
-			p.conns = append(p.conns[:i:i], p.conns[i+1:]...)
-			return
-		}
-	}
-}
-
-// broadcast sends a cordon to all peers. It ignores a failed write, because the goroutine that reads from the
-// connection reports that the connection has ended.
-func (p *cordonPeers) broadcast(record cordon.Record) {
-	p.mu.Lock()
-	conns := p.conns
-	p.mu.Unlock()
-	encoded, err := json.Marshal([]cordon.Record{record})
-	if err != nil {
-		return
-	}
-	for _, conn := range conns {
-		_ = conn.Write(takeover.Message{Kind: takeover.Cordons, Payload: encoded})
-	}
-}
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -59,7 +59,7 @@
 
 	stopRequested bool // whether the platform has requested a stop
 
-	cordonPeers cordonPeers
+	cordonPeers takeover.CordonPeers
 }
 
 func newLifecycle(s *sidecar, listener net.Listener) *lifecycle {
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -20,7 +20,7 @@
 // new cordons are sent.
 func (l *lifecycle) Offer(successor *takeover.Conn) takeover.Message {
 	snapshot := l.EncodeSnapshot(l.sidecar.core.Snapshot(), l.sidecar.connPool.Evidence())
-	l.cordonPeers.add(successor)
+	l.cordonPeers.Add(successor)
 	return takeover.Message{Kind: decide.Offer, Payload: snapshot}
 }
 
@@ -94,7 +94,7 @@
 func (l *lifecycle) SendFailed(error) {}
 
 // SuccessorLeaving stops sending cordons to the successor.
-func (l *lifecycle) SuccessorLeaving(conn *takeover.Conn) { l.cordonPeers.remove(conn) }
+func (l *lifecycle) SuccessorLeaving(conn *takeover.Conn) { l.cordonPeers.Remove(conn) }
 
 // HandingOver does nothing, because a sidecar applies no configuration that has to wait for the end of a handover.
 func (l *lifecycle) HandingOver(bool) {}
--- a/internal/sidecar/successor.go
+++ b/internal/sidecar/successor.go
@@ -31,7 +31,7 @@
 	snapshot := l.offeredSnapshot
 	l.offeredSnapshot = nil
 	l.restore(snapshot, "at the start")
-	l.cordonPeers.add(l.PredecessorConn)
+	l.cordonPeers.Add(l.PredecessorConn)
 	return nil
 }
 
@@ -117,5 +117,5 @@
 	if !l.Successor.Serving() || l.Successor.ReceivesConnections() {
 		l.sidecar.log.Warn("predecessor lost", "while", l.Successor.String())
 	}
-	l.cordonPeers.remove(conn)
+	l.cordonPeers.Remove(conn)
 }
