A cordon reaches all generations of a hot restart of the daemon

Change: takeover.CordonPeers, until now the sidecar's, is used by both programs. A cordon goes to the connected processes or generations, and each passes it on to its other peer, so that it reaches all of a chain of restarts.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -69,14 +69,18 @@
 }
 
 // setCordon sets the cordon of an endpoint, which is identified by its name or address, or removes it. The
-// cordon applies to this instance only and is part of its snapshot. The error is admin.ErrUnknownEndpoint if
-// the endpoint is in no endpoint list.
+// cordon applies to this instance only, is part of its snapshot and, during a hot restart, is sent to the other
+// generations. The error is admin.ErrUnknownEndpoint if the endpoint is in no endpoint list.
 func (g *generation) setCordon(ctx context.Context, target string, cordoned bool) error {
-	_, known, err := g.core.SetCordon(ctx, target, cordoned, takeover.Monotonic())
-	if err == nil && !known {
-		err = admin.ErrUnknownEndpoint
+	record, known, err := g.core.SetCordon(ctx, target, cordoned, takeover.Monotonic())
+	switch {
+	case err != nil:
+		return err
+	case !known:
+		return admin.ErrUnknownEndpoint
 	}
-	return err
+	g.cordonPeers.Broadcast(record)
+	return nil
 }
 
 // metrics returns the metrics as lines of the form "name=value". The metrics of the core are all read at the
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -15,6 +15,7 @@
 	"dunlinsail/internal/engine"
 	"dunlinsail/internal/frontend/http1"
 	"dunlinsail/internal/peers"
+	"dunlinsail/internal/takeover"
 	"dunlinsail/internal/upstream"
 )
 
@@ -35,7 +36,8 @@
 	consensus        *consensusMember            // nil while this instance takes no part in the consensus
 	inheritedPlan    *engine.MaintenancePlan     // the maintenance plan of the predecessor; nil if there is none
 	clock            clock.Clock
-	closeAdminServer func() // stops the admin server; nil while it does not run
+	closeAdminServer func()               // stops the admin server; nil while it does not run
+	cordonPeers      takeover.CordonPeers // the other generations of a hot restart
 
 	accessLog *accesslog.Writer // nil if the configuration has no access log
 	keyHasher *accesslog.Hasher // hashes the keys and objects in the access log
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -166,5 +166,13 @@
 	}
 }
 
-// ReceiveCordons ignores its argument: a generation sends its cordons only as part of the snapshot.
-func (l *lifecycle) ReceiveCordons([]byte) {}
+// ReceiveCordons applies cordons that the other generation of a hot restart has sent. A generation that drains still
+// sends queued requests and retries, and one whose successor is lost serves again.
+func (l *lifecycle) ReceiveCordons(sender *takeover.Conn, payload []byte) {
+	cordons, err := l.cordonPeers.Receive(sender, payload)
+	if err != nil {
+		l.log.Warn("cordons of the other process rejected", "error", err)
+		return
+	}
+	l.core.ReceiveCordons(cordons...)
+}
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -15,8 +15,9 @@
 // state machine.
 
 // Offer returns the message that offers the listening sockets and the snapshot of the learned state to the
-// successor.
-func (l *lifecycle) Offer(*takeover.Conn) takeover.Message {
+// successor. Cordons that are set after the snapshot are sent to the successor.
+func (l *lifecycle) Offer(successor *takeover.Conn) takeover.Message {
+	l.cordonPeers.Add(successor)
 	offerMessage := offer{
 		Takeover: l.successorListener != nil,
 		State:    l.EncodeSnapshot(l.core.Snapshot(), l.upstreams.Evidence()),
@@ -136,8 +137,8 @@
 // SendFailed logs that a message could not be sent to the successor.
 func (l *lifecycle) SendFailed(err error) { l.log.Warn("message to successor not sent", "error", err) }
 
-// SuccessorLeaving does nothing: the daemon keeps no state of the connection to the successor.
-func (l *lifecycle) SuccessorLeaving(*takeover.Conn) {}
+// SuccessorLeaving stops sending cordons to the successor.
+func (l *lifecycle) SuccessorLeaving(conn *takeover.Conn) { l.cordonPeers.Remove(conn) }
 
 // HandingOver notifies the process when a handover starts and when it ends.
 func (l *lifecycle) HandingOver(active bool) { l.onHandoverChange(active) }
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -60,6 +60,7 @@
 	}
 	l.generation.startBackground()
 	l.restoreState(state, "at the start")
+	l.cordonPeers.Add(l.PredecessorConn)
 	return nil
 }
 
@@ -223,5 +224,5 @@
 	conn.Close()
 }
 
-// PredecessorLeaving does nothing: the daemon keeps no state of the connection to the predecessor.
-func (l *lifecycle) PredecessorLeaving(*takeover.Conn) {}
+// PredecessorLeaving stops sending cordons to the predecessor.
+func (l *lifecycle) PredecessorLeaving(conn *takeover.Conn) { l.cordonPeers.Remove(conn) }
--- a/internal/sidecar/cordons.go
+++ b/internal/sidecar/cordons.go
@@ -92,9 +92,9 @@
 }
 
 // ReceiveCordons applies cordons that the other process of a hot restart has sent.
-func (l *lifecycle) ReceiveCordons(payload []byte) {
-	var cordons []cordon.Record
-	if err := json.Unmarshal(payload, &cordons); err != nil {
+func (l *lifecycle) ReceiveCordons(sender *takeover.Conn, payload []byte) {
+	cordons, err := l.cordonPeers.Receive(sender, payload)
+	if err != nil {
 		l.sidecar.log.Warn("cordons of the other process rejected", "error", err)
 		return
 	}
--- a/internal/takeover/cordonpeers.go
+++ b/internal/takeover/cordonpeers.go
@@ -11,7 +11,7 @@
 // CordonPeers is empty. Its methods may be called from any goroutine.
 type CordonPeers struct {
 	mu    sync.Mutex
-	conns []*Conn // elements are never overwritten, because Broadcast reads the slice without mu
+	conns []*Conn // elements are never overwritten, because send reads the slice without mu
 }
 
 // Add adds a connection.
@@ -33,17 +33,33 @@
 	}
 }
 
-// Broadcast sends a cordon to all peers. It ignores a failed write, because the goroutine that reads from the
-// connection reports that the connection has ended.
+// Broadcast sends a cordon to all peers.
 func (p *CordonPeers) Broadcast(record cordon.Record) {
+	if encoded, err := json.Marshal([]cordon.Record{record}); err == nil {
+		p.send(encoded, nil)
+	}
+}
+
+// Receive decodes the payload of a Cordons message, and passes it on to the peers other than its sender: in a chain of
+// hot restarts, a process that is still draining is connected to its own successor only.
+func (p *CordonPeers) Receive(sender *Conn, payload []byte) ([]cordon.Record, error) {
+	var cordons []cordon.Record
+	if err := json.Unmarshal(payload, &cordons); err != nil {
+		return nil, err
+	}
+	p.send(payload, sender)
+	return cordons, nil
+}
+
+// send sends encoded cordons to all peers except one, which may be nil. It ignores a failed write, because the
+// goroutine that reads from the connection reports that the connection has ended.
+func (p *CordonPeers) send(encoded []byte, except *Conn) {
 	p.mu.Lock()
 	conns := p.conns
 	p.mu.Unlock()
-	encoded, err := json.Marshal([]cordon.Record{record})
-	if err != nil {
-		return
-	}
 	for _, conn := range conns {
-		_ = conn.Write(Message{Kind: Cordons, Payload: encoded})
+		if conn != except {
+			_ = conn.Write(Message{Kind: Cordons, Payload: encoded})
+		}
 	}
 }
--- a/internal/takeover/host.go
+++ b/internal/takeover/host.go
@@ -13,9 +13,9 @@
 	SuccessorHost
 	PredecessorHost
 
-	// ReceiveCordons applies the cordons that an operator has set at the other process. payload is the payload
-	// of the Cordons message.
-	ReceiveCordons(payload []byte)
+	// ReceiveCordons applies the cordons that an operator has set at another process, and passes them on
+	// (CordonPeers.Receive). sender is the connection of the Cordons message, and payload its payload.
+	ReceiveCordons(sender *Conn, payload []byte)
 }
 
 // SuccessorHost contains the methods of a Host that take over from a predecessor.
--- a/internal/takeover/lifecycle_test.go
+++ b/internal/takeover/lifecycle_test.go
@@ -73,7 +73,7 @@
 
 func (h *stubHost) HandingOver(bool) {}
 
-func (h *stubHost) ReceiveCordons([]byte) {}
+func (h *stubHost) ReceiveCordons(*Conn, []byte) {}
 
 // runEvent runs the next event of a lifecycle.
 func runEvent(t *testing.T, l *Lifecycle) {
--- a/internal/takeover/predecessor.go
+++ b/internal/takeover/predecessor.go
@@ -60,7 +60,7 @@
 	}
 	switch m.Kind {
 	case Cordons:
-		l.host.ReceiveCordons(m.Payload)
+		l.host.ReceiveCordons(conn, m.Payload)
 		return
 	case decide.Rejected, decide.ConnectionLost:
 		l.log.Warn("hot restart ended by the other process",
--- a/internal/takeover/successor.go
+++ b/internal/takeover/successor.go
@@ -24,7 +24,7 @@
 		return
 	case Cordons:
 		m.CloseFiles()
-		l.host.ReceiveCordons(m.Payload)
+		l.host.ReceiveCordons(conn, m.Payload)
 		return
 	case decide.Offer:
 		l.host.ReceiveOffer(m)
