After a hot restart discovery is polled within a second

Cause: the first poll is delayed by up to half of ask_within so that a fleet that starts together spreads its calls. It was so after a hot restart, too, which ends the subscription of the predecessor.

A start without a predecessor is as before.

--- a/balancer/polling_test.go
+++ b/balancer/polling_test.go
@@ -214,3 +214,37 @@
 		t.Error("polled while subscribed")
 	}
 }
+
+// Guards against a balancer that takes over but first polls when the changes that its predecessor would have known are
+// long in force: it polls within takeoverPollSpread, however large the fleet is, and once only.
+func TestPollsSoonAfterTakeover(t *testing.T) {
+	s := testSettings()
+	s.Subscribe = true
+	s.Balancers = 300
+	s.Contract.PollInterval = 10 * second
+	early := 0
+	for seed := range uint64(50) {
+		p := &pollingBalancer{}
+		p.balancer, p.recorder = newBalancer(t, s, seed)
+		p.balancer.Start(1)
+		p.readDiscoveryTimers(1)
+		if p.pollAt > 1+takeoverPollSpread {
+			early++
+		}
+		for _, now := range []monotime.Micros{1000, 2000} { // at the start, and at the handover
+			p.balancer.ResumePolling(now)
+			p.readDiscoveryTimers(now)
+		}
+		if p.pollAt > 2000+takeoverPollSpread || !p.pollIfDue(p.pollAt) {
+			t.Fatalf("seed %d: first poll at %d us", seed, p.pollAt)
+		}
+		p.balancer.UpdateEndpoints(second, ListFull, readyEndpoints(6))
+		timers := len(p.recorder.timerTokens)
+		if p.balancer.ResumePolling(2 * second); len(p.recorder.timerTokens) != timers {
+			t.Errorf("seed %d: a balancer that is subscribed polls again", seed)
+		}
+	}
+	if early == 0 {
+		t.Error("no first poll was late without a takeover")
+	}
+}
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -37,6 +37,7 @@
 				Endpoints:  p.markKnownCells(poolSnapshot),
 			})
 		}
+		p.balancer.ResumePolling(now)
 		for _, description := range p.restore(now, age, poolSnapshot) {
 			if p.name != "" {
 				description = fmt.Sprintf("pool %q: %s", p.name, description)
