A pool that SIGHUP replaces follows its list until its requests have ended

Cause: changePools stopped the source of the replaced pool at once, while the pool still had open and queued requests.

Change: the source of a closed pool is stopped once its last request has ended (engine.PoolConfig.OnDissolved). Where the old and the new pool have lists of addresses, the old one gets the new list.

A line of polling.go is broken in two, as the linter has it.

--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// takeoverPollSpread bounds the delay of the first poll after a hot restart, which must not outlast the 2 s within which
-// changes must be known.
+// takeoverPollSpread bounds the delay of the first poll after a hot restart, which must not outlast the 2 s within
+// which changes must be known.
 const takeoverPollSpread = second
 
 // ResumePolling brings the first poll forward after a hot restart, unless discovery already sends lists: the changes
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -28,6 +28,7 @@
 	upstreams *upstream.Pool // connections to endpoints
 	core      *core.Core
 	pools     pools         // by pool name
+	closing   sync.Map      // *pool: pools without a route whose requests have not all ended
 	frontend  *http1.Server // serves the connections of clients
 	clients   *clients
 
@@ -173,6 +174,9 @@
 	for _, p := range g.pools {
 		p.stopSource()
 	}
+	for p := range g.closing.Range {
+		p.(*pool).stopSource()
+	}
 	if g.cancel != nil {
 		g.cancel()
 	}
--- a/internal/daemon/pool_changes_test.go
+++ b/internal/daemon/pool_changes_test.go
@@ -12,6 +12,10 @@
 	"sync/atomic"
 	"testing"
 
+	"dunlinsail/internal/discovery"
+	"dunlinsail/internal/fake/discoveryserver"
+	"dunlinsail/internal/fake/require"
+	"dunlinsail/internal/fake/scripteddiscovery"
 	"dunlinsail/internal/fake/scriptedpeer"
 	"dunlinsail/internal/fake/webapp"
 )
@@ -76,6 +80,76 @@
 	d.waitIdle(t)
 }
 
+// replacedPoolConfig is a configuration with one pool of the endpoints of LIST and a BUDGET, whose change replaces it.
+const replacedPoolConfig = `
+[[listener]]
+address = "127.0.0.1:0"
+[[pool]]
+name = "agenda"
+LIST
+retry_budget = BUDGET
+[[route]]
+pool = "agenda"
+`
+
+// Guards against queued requests and retries of a pool that SIGHUP has replaced which go to an endpoint that is removed
+// or begins to drain after it: the pool follows its list until its last request has ended.
+func TestReplacedPoolFollowsItsList(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := scriptedpeer.ReadRequest(r); err == nil {
+			held <- struct{}{}
+			<-release
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	other := scriptedpeer.ClosedAddress(t)
+	both := []discovery.Instance{scripteddiscovery.Up("s-0", addr), scripteddiscovery.Up("s-1", other)}
+	server, err := discoveryserver.Start(both...)
+	require.NoError(t, err)
+	defer server.Close()
+	discoverySetting := fmt.Sprintf("discovery = %q", server.Addr)
+	for name, tc := range map[string]struct {
+		list, nextList string
+		remove         func(d *runningDaemon)
+	}{
+		"discovery": {discoverySetting, discoverySetting, func(d *runningDaemon) {
+			awaitListed(t, d, 4) // both endpoints of each pool
+			removed := both[1]
+			removed.Lifecycle = discovery.LifecycleRemoved
+			server.Set(removed)
+		}},
+		"list of addresses": {
+			fmt.Sprintf("endpoints = [%q, %q]", addr, other), fmt.Sprintf("endpoints = [%q]", addr),
+			func(*runningDaemon) {},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, daemonAddr := startRoutedDaemon(t, replacedPoolConfig, "LIST", tc.list, "BUDGET", "0.1")
+			conn := dial(t, "tcp", daemonAddr)
+			conn.send(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			scriptedpeer.Receive(t, held, "attempt at the endpoint")
+			d.applyConfig(t, parseConfig(t, replacedPoolConfig, "LIST", tc.nextList, "BUDGET", "0.2"))
+			tc.remove(d)
+			awaitListed(t, d, 2) // one endpoint of each pool
+			release <- struct{}{}
+			if resp, _ := conn.readResponse(t); resp.StatusCode != 200 {
+				t.Errorf("response: %s", resp.Status)
+			}
+			awaitListed(t, d, 1)
+		})
+	}
+}
+
+// awaitListed waits until the pools of a daemon, including those that are closing, list a number of endpoints.
+func awaitListed(t *testing.T, d *runningDaemon, want int) {
+	t.Helper()
+	scriptedpeer.Eventually(t, fmt.Sprint(want, " listed endpoints"), func() bool {
+		stats, err := d.core.Statistics(context.Background(), func() {})
+		return err == nil && stats.ListedEndpoints == want
+	})
+}
+
 // Requests to an empty pool are rejected at once with Retry-After, and are served once the pool has endpoints
 // again. Every served request has run at an endpoint, and no rejected one has.
 func TestPoolEmptiedAndRefilled(t *testing.T) {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -43,6 +43,7 @@
 		Subset:            g.config.Fleet.SubsetSettings(),
 		OnIdleConnections: func(n float64) { g.upstreams.LimitIdle(conf.Name, n) },
 		SetWatch:          func(bool) {},
+		OnDissolved:       func() { g.goroutines.Go(func() { g.releasePool(p) }) },
 	}
 	switch {
 	case conf.Endpoints != nil:
@@ -143,9 +144,7 @@
 			g.startSource(p)
 		case reflect.DeepEqual(p.config, conf):
 		case conf.Endpoints != nil:
-			p.listGeneration++
-			endpointList := endpointsource.StaticList(*conf.Endpoints, g.config.Fleet.Zone, p.listGeneration)
-			p.corePool.UpdateEndpoints(context.Background(), endpointList)
+			g.updateStaticList(p, *conf.Endpoints)
 		default:
 			p.discoverySource.SwitchTo(g.newWatcher(p, conf))
 			p.corePool.SetSource(conf.Source())
@@ -157,8 +156,7 @@
 	g.setRoutes(next)
 	for name, p := range previousPools {
 		if nextPools[name] != p {
-			p.corePool.Close()
-			p.stopSource()
+			g.closePool(p, nextPools[name])
 			removed = append(removed, name)
 		}
 	}
@@ -166,6 +164,30 @@
 	return added, removed, nil
 }
 
+// updateStaticList passes a list that is part of the configuration to a pool.
+func (g *generation) updateStaticList(p *pool, addresses []string) {
+	p.listGeneration++
+	list := endpointsource.StaticList(addresses, g.config.Fleet.Zone, p.listGeneration)
+	p.corePool.UpdateEndpoints(context.Background(), list)
+}
+
+// closePool closes a pool to which no route leads any more. Its source goes on until its last request has ended
+// (releasePool): queued requests and retries must not go to endpoints that begin to drain or are removed.
+// replacement is the pool that has its name now, or nil.
+func (g *generation) closePool(p, replacement *pool) {
+	g.closing.Store(p, nil)
+	if replacement != nil && p.config.Endpoints != nil && replacement.config.Endpoints != nil {
+		g.updateStaticList(p, *replacement.config.Endpoints)
+	}
+	p.corePool.Close()
+}
+
+// releasePool stops the source of a closed pool whose requests have all ended.
+func (g *generation) releasePool(p *pool) {
+	p.stopSource()
+	g.closing.Delete(p)
+}
+
 // canReconfigure reports whether a pool can get another configuration without losing its learned state. The
 // endpoint list or the discovery address may differ; the kind of the source and the retry budget must not.
 func (p *pool) canReconfigure(conf *config.Pool) bool {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -28,6 +28,10 @@
 	// SetWatch starts or stops the watch of the endpoint list at discovery. It must not block.
 	SetWatch func(active bool)
 
+	// OnDissolved is called once the pool is closed and all its requests have ended. It must not block. It may be
+	// nil.
+	OnDissolved func()
+
 	// Subset makes the instance use a subset of the endpoint list; nil uses the whole list.
 	Subset *subset.Settings
 	// OnIdleConnections is called with the number of idle connections that the pool may keep, if Subset is set.
@@ -193,4 +197,7 @@
 	p.byName = nil
 	p.byNumber = nil
 	p.endpointList = nil
+	if p.config.OnDissolved != nil {
+		p.config.OnDissolved()
+	}
 }
