Maintenance does not count machines without a cell as cell 0

A machine whose list names no cell had cell 0. Such machines were in service for cell 0, so that its last machine could be let out, and shared its bound.

Change: they are reported as maintenance.UnknownCell, -1, a cell of their own. The field and its stored form, an int, are as they were; an older build treats -1 as one more cell.

Measured: TestMachineWithoutCellIsNotInCellZero, which compares the reported cells, passes with the change; the tests of engine, decide, consensus, simulation and experiment pass.

--- a/internal/decide/maintenance/capacity.go
+++ b/internal/decide/maintenance/capacity.go
@@ -115,9 +115,9 @@
 	case s.MaxOutPerZone > 0 && others.outInZone >= s.MaxOutPerZone:
 		return fmt.Sprintf("%d of zone %s are out, %d may be", others.outInZone, candidate.Zone, s.MaxOutPerZone)
 	case s.MaxOutPerCell > 0 && others.outInCell >= s.MaxOutPerCell:
-		return fmt.Sprintf("%d of cell %d are out, %d may be", others.outInCell, candidate.Cell, s.MaxOutPerCell)
+		return fmt.Sprintf("%d of %s are out, %d may be", others.outInCell, candidate.cellName(), s.MaxOutPerCell)
 	case others.inServiceInCell == 0 && !others.aloneInCell:
-		return fmt.Sprintf("it is the last of cell %d", candidate.Cell)
+		return "it is the last of " + candidate.cellName()
 	case s.MaxOutPerKind > 0 && others.outOfKind >= s.MaxOutPerKind:
 		return fmt.Sprintf("%d of type %s are out, %d may be", others.outOfKind, candidate.Kind, s.MaxOutPerKind)
 	case usableCapacity < state.Fleet.demand():
@@ -127,6 +127,14 @@
 	return ""
 }
 
+// cellName returns the machine's cell for operators.
+func (m *MachineStatus) cellName() string {
+	if m.Cell == UnknownCell {
+		return "the machines without a cell in their list"
+	}
+	return fmt.Sprint("cell ", m.Cell)
+}
+
 // lostZone returns the first zone by name in which more than half of the machines are unhealthy although the plan has
 // not taken them out; empty if there is none. While a zone is lost no machine is drained, because the other zones need
 // their capacity to replace that of the lost zone.
--- a/internal/decide/maintenance/types.go
+++ b/internal/decide/maintenance/types.go
@@ -7,12 +7,15 @@
 // The JSON tags of this package are the field names in the raft log and its snapshots, in messages between
 // instances and in operators' calls. Earlier builds use the same names, so the tags must not change.
 
+// UnknownCell is the cell of machines whose cell no endpoint list states. The bounds count them as a cell of their own.
+const UnknownCell = -1
+
 // MachineStatus is what the leader knows about a machine that serves requests.
 type MachineStatus struct {
 	Name     string  `json:"Name"`
 	Zone     string  `json:"Zone"`
-	Kind     string  `json:"Kind"` // machine type
-	Cell     int     `json:"Cell"`
+	Kind     string  `json:"Kind"`  // machine type
+	Cell     int     `json:"Cell"`  // number of the cell, or UnknownCell
 	Capacity float64 `json:"Share"` // capacity, in the same unit for all machines
 	Healthy  bool    `json:"Well"`  // the machine is ready, and neither cordoned nor ejected
 }
--- a/internal/engine/dedupgroups_test.go
+++ b/internal/engine/dedupgroups_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"dunlinsail/balancer"
+	"dunlinsail/internal/decide/maintenance"
 	"dunlinsail/internal/decide/subset"
 	"dunlinsail/internal/fake/require"
 	"dunlinsail/internal/monotime"
@@ -255,3 +256,15 @@
 		t.Errorf("logged %q, want a warning, its end and a warning", host.lines)
 	}
 }
+
+// Guards against a machine of a stated cell 0 that maintenance lets out as if others of its cell were in service, since
+// machines without a cell counted as cell 0.
+func TestMachineWithoutCellIsNotInCellZero(t *testing.T) {
+	r := startKeyedRun(t, balancer.DedupCell, nil)
+	r.update(EndpointUpdate{Kind: balancer.ListFull, Generation: 1},
+		twoEndpoints(func(first, _ *EndpointInfo) { first.CellKnown = true })...)
+	machines := r.engine.MaintenanceStatus(sentAt).Machines
+	if machines[0].Cell != 0 || machines[1].Cell != maintenance.UnknownCell {
+		t.Errorf("cells %d and %d, want 0 and unknown", machines[0].Cell, machines[1].Cell)
+	}
+}
--- a/internal/engine/machinestatus.go
+++ b/internal/engine/machinestatus.go
@@ -49,11 +49,15 @@
 	if !slices.Contains(eng.config.Site.MachineTypes, kind) {
 		kind = ""
 	}
+	cell := maintenance.UnknownCell
+	if info.HasCell() {
+		cell = int(info.Cell)
+	}
 	return maintenance.MachineStatus{
 		Name:     info.Name,
 		Zone:     info.Zone,
 		Kind:     kind,
-		Cell:     int(info.Cell),
+		Cell:     cell,
 		Capacity: float64(info.Weight),
 		Healthy:  info.State == balancer.Ready && !eng.cordons.Cordoned(info.Name) && !ejected,
 	}
