The sidecar, too, answers requests that are open at the end of its drain

Cause: on a second reading, the sidecar closed what was open 30 s after an upgrade without a response, as the daemon did at the end of takeover.drain_within. It matters where a class lets its clients wait for longer.

Change: what the daemon did there is http1.Server.CloseRemaining, and both programs use it. drain timeout, connections closed has requests_failed in both.

Measured, -race: TestRequestOpenAtTheEndOfTheDrainIsAnswered of the sidecar fails without the call of ExpireAll (no response within 20 s) and passes 2 of 2, as that of the daemon does.

--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"syscall"
-	"time"
 
 	decide "dunlinsail/internal/decide/takeover"
 	"dunlinsail/internal/takeover"
@@ -117,21 +115,10 @@
 	})
 }
 
-// finalResponsesTimeout bounds the writing of the responses that CloseRemaining causes.
-const finalResponsesTimeout = 500 * time.Millisecond
-
-// CloseRemaining ends what is still open after the duration of the setting takeover.drain_within. Requests without a
-// response get one; connections that are still open after finalResponsesTimeout, such as those of responses that
-// stream, are closed.
+// CloseRemaining ends what is still open after the duration of the setting takeover.drain_within.
 func (l *lifecycle) CloseRemaining() {
-	l.frontend.SetResponseDeadline(l.clock.Now()) // a request that arrives from here on is answered at once
-	expired := l.core.ExpireAll()
-	l.frontend.ClosePartialRequests()
+	expired := l.frontend.CloseRemaining()
 	l.log.Warn("drain timeout, connections closed", "requests_failed", expired)
-	ctx, cancel := context.WithTimeout(context.Background(), finalResponsesTimeout)
-	defer cancel()
-	_ = l.frontend.WaitDrained(ctx)
-	l.frontend.CloseAll()
 }
 
 // SendFailed logs that a message could not be sent to the successor.
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -152,6 +152,23 @@
 // WaitDrained waits until no connection is being served. It returns the error of ctx if ctx ends first.
 func (s *Server) WaitDrained(ctx context.Context) error { return s.conns.waitDrained(ctx) }
 
+// finalResponsesTimeout bounds the writing of the responses that CloseRemaining causes.
+const finalResponsesTimeout = 500 * time.Millisecond
+
+// CloseRemaining ends what is still open at the end of a drain, and returns the number of requests that had no response
+// and get one. Connections that are still open after finalResponsesTimeout, such as those of responses that stream, are
+// closed.
+func (s *Server) CloseRemaining() (expired int) {
+	s.SetResponseDeadline(s.options.Clock.Now()) // a request that arrives from here on is answered at once
+	expired = s.options.Core.ExpireAll()
+	s.ClosePartialRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponsesTimeout)
+	defer cancel()
+	_ = s.WaitDrained(ctx) // an error means that connections are left, which CloseAll closes
+	s.CloseAll()
+	return expired
+}
+
 // CloseAll closes all connections, including those with a request in flight.
 func (s *Server) CloseAll() {
 	s.closing.Store(true)
--- a/internal/sidecar/predecessor.go
+++ b/internal/sidecar/predecessor.go
@@ -84,10 +84,10 @@
 	l.WaitUntilDrained()
 }
 
-// CloseRemaining closes the client connections that are still open after drainTimeout.
+// CloseRemaining ends what is still open after drainTimeout.
 func (l *lifecycle) CloseRemaining() {
-	l.sidecar.log.Warn("drain timeout, connections closed", "after", drainTimeout)
-	l.sidecar.frontend.CloseAll()
+	expired := l.sidecar.frontend.CloseRemaining()
+	l.sidecar.log.Warn("drain timeout, connections closed", "after", drainTimeout, "requests_failed", expired)
 }
 
 // SendFailed does nothing, because a failed send is always followed by the end of the connection, which is logged.
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -300,3 +300,19 @@
 		t.Error("the client's connection is open")
 	}
 }
+
+// Guards against a request that is closed without a response since its class lets clients wait for longer than
+// drainTimeout, and the drain of a hot restart ends before.
+func TestRequestOpenAtTheEndOfTheDrainIsAnswered(t *testing.T) {
+	received, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	endpoint := startBlockingEndpoint(t, "/pay", received, release)
+	longTimeout := `"pay","repeat":"side_effect","target":500000,"give-up":`
+	s := start(t, configureStatic(t, instances(endpoint), longTimeout+"1000000", longTimeout+"60000000"))
+	status := s.requestInBackground(t, request("POST", "/pay", "pay", 60_000, "x"))
+	scriptedpeer.Receive(t, received, "attempt at the endpoint")
+	s.sidecar.lifecycle.CloseRemaining()
+	if got := scriptedpeer.Receive(t, status, "response"); got != 504 {
+		t.Errorf("status %d, want 504", got)
+	}
+}
