--- a/balancer/api.go
+++ b/balancer/api.go
@@ -26,7 +26,7 @@
 // Endpoint is one entry of an endpoint list.
 type Endpoint struct {
 	ID        uint32     // number that the host has assigned to the endpoint
-	Zone      uint8      // number of the endpoint's zone in Settings.Zone, for Prices.CrossZone
+	Zone      uint8      // the endpoint's zone, numbered as Settings.Zone, for Prices.CrossZone
 	Kind      uint8      // machine type. Not used by the balancer.
 	ZoneGroup DedupGroup // the endpoint's zone, for DedupZone; zones that the settings do not name have numbers, too
 	CellGroup DedupGroup // the endpoint's cell, for DedupCell; numbers are unique over all zones
--- a/cmd/dunlinsaild/main_test.go
+++ b/cmd/dunlinsaild/main_test.go
@@ -69,24 +69,7 @@
 }
 
 // keyedStaticConfig is a valid file whose keyed class is retried within a cell, which its list does not state.
-const keyedStaticConfig = `
-[[listener]]
-address = "127.0.0.1:0"
-[[pool]]
-name = "agenda"
-endpoints = ["127.0.0.1:9001", "127.0.0.1:9002"]
-[[class]]
-name = "book"
-repeat = "keyed"
-group = "cell"
-window = "400ms"
-aim = "300ms"
-give_up = "600ms"
-[[route]]
-pool = "agenda"
-class = "book"
-key = "header:Idempotency-Key"
-`
+const keyedStaticConfig = "../../internal/config/testdata/keyed-static.toml"
 
 // A setting that is valid but keeps requests from being retried is warned of, and the exit code is 0.
 // An error in the configuration file or in the arguments is printed with its position, the exit code is 2, and
@@ -96,9 +79,8 @@
 	if code != 0 || !strings.Contains(out, "sound") {
 		t.Errorf("deploy/dunlinsaild.toml: code %d, output %q, errors %q", code, out, stderr)
 	}
-	warnedPath := writeConfig(t, keyedStaticConfig)
-	code, out, _ = runToEnd(t, "check", "--config", warnedPath)
-	if want := warnedPath + ": sound\n" + warnedPath + ": warning: class.0.group: "; code != 0 ||
+	code, out, _ = runToEnd(t, "check", "--config", keyedStaticConfig)
+	if want := keyedStaticConfig + ": sound\n" + keyedStaticConfig + ": warning: class.0.group: "; code != 0 ||
 		!strings.HasPrefix(out, want) {
 		t.Errorf("a static list without cells: code %d, output %q, want %q", code, out, want)
 	}
--- a/internal/config/warnings_test.go
+++ b/internal/config/warnings_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	_ "embed"
 	"strings"
 	"testing"
 
@@ -8,24 +9,9 @@
 )
 
 // keyedRoute is a file whose only class is retried within a cell, with a pool that does not state the cells.
-const keyedRoute = `
-[[listener]]
-address = "127.0.0.1:0"
-[[pool]]
-name = "agenda"
-endpoints = ["127.0.0.1:9001", "127.0.0.1:9002"]
-[[class]]
-name = "book"
-repeat = "keyed"
-group = "cell"
-window = "400ms"
-aim = "300ms"
-give_up = "600ms"
-[[route]]
-pool = "agenda"
-class = "book"
-key = "header:Idempotency-Key"
-`
+//
+//go:embed testdata/keyed-static.toml
+var keyedRoute string
 
 // staticList is the list of addresses in keyedRoute.
 const staticList = `endpoints = ["127.0.0.1:9001", "127.0.0.1:9002"]`
