--- a/balancer/polling_test.go
+++ b/balancer/polling_test.go
@@ -222,14 +222,14 @@
 	s.Subscribe = true
 	s.Balancers = 300
 	s.Contract.PollInterval = 10 * second
-	early := 0
+	lateWithoutTakeover := 0
 	for seed := range uint64(50) {
 		p := &pollingBalancer{}
 		p.balancer, p.recorder = newBalancer(t, s, seed)
 		p.balancer.Start(1)
 		p.readDiscoveryTimers(1)
 		if p.pollAt > 1+takeoverPollSpread {
-			early++
+			lateWithoutTakeover++
 		}
 		for _, now := range []monotime.Micros{1000, 2000} { // at the start, and at the handover
 			p.balancer.ResumePolling(now)
@@ -244,7 +244,7 @@
 			t.Errorf("seed %d: a balancer that is subscribed polls again", seed)
 		}
 	}
-	if early == 0 {
+	if lateWithoutTakeover == 0 {
 		t.Error("no first poll was late without a takeover")
 	}
 }
