Keyed requests are retried in groups that a moved discovery lists alike

A booking in flight whose answer got lost failed.

Change: a zone or cell keeps its number if both lists have an endpoint of the same name and address in it, and none in different ones. The list that follows states then that its endpoints are in the group of one in which the request ran.

Measured: TestGroupsOfMovedDiscovery failed before in the four safe ones of its ten cases, in both scopes, with and without a subset, and passes; the six others, among them the same names at other addresses, were and are not retried. TestGroupsOfTwoSourcesDiffer is unchanged.

--- a/internal/engine/dedupgroups.go
+++ b/internal/engine/dedupgroups.go
@@ -10,7 +10,7 @@
 // idempotency key within one of them (balancer.DedupScope). A group is unknown unless the endpoint list states it.
 //
 // Names of zones and numbers of cells are those of one source of lists. After a change of the source the same name may
-// mean other endpoints, so all groups get new numbers.
+// mean other endpoints, so a group gets a new number unless both sources list an endpoint in it (sharedNumbers).
 type dedupGroups struct {
 	source string // origin of the lists whose groups are numbered
 	zones  map[string]balancer.DedupGroup
@@ -22,24 +22,53 @@
 
 // newDedupGroups returns groups of which none has a number, for lists of the given source.
 func newDedupGroups(source string) dedupGroups {
-	g := dedupGroups{source: source, reportedUnknown: map[balancer.DedupScope]bool{}}
-	g.clear()
-	return g
-}
-
-// clear forgets all numbers. They are not given again.
-func (g *dedupGroups) clear() {
-	g.zones = map[string]balancer.DedupGroup{}
-	g.cells = map[uint16]balancer.DedupGroup{}
+	return dedupGroups{
+		source:          source,
+		zones:           map[string]balancer.DedupGroup{},
+		cells:           map[uint16]balancer.DedupGroup{},
+		reportedUnknown: map[balancer.DedupScope]bool{},
+	}
 }
 
-// setSource notes the source of the list that follows; "" is the source of the list before.
-func (g *dedupGroups) setSource(source string) {
+// setSource notes the source of the list that follows; "" is the source of the list before. If the source changes, only
+// groups that the list before shares with the one that follows keep their numbers. Other numbers are not given again.
+func (g *dedupGroups) setSource(source string, before map[string]EndpointInfo, following []EndpointInfo) {
 	if source == "" || source == g.source {
 		return
 	}
 	g.source = source
-	g.clear()
+	g.zones = sharedNumbers(g.zones, before, following, func(info *EndpointInfo) (string, bool) {
+		return info.Zone, info.HasZone()
+	})
+	g.cells = sharedNumbers(g.cells, before, following, func(info *EndpointInfo) (uint16, bool) {
+		return info.Cell, info.HasCell()
+	})
+}
+
+// sharedNumbers returns the numbers of the groups in which two lists of different sources both have the same endpoint.
+// It returns none if the lists have an endpoint in different groups, because the sources then name groups differently.
+// groupOf returns the zone or cell of an endpoint, and whether it is known.
+func sharedNumbers[K comparable](
+	numbers map[K]balancer.DedupGroup, before map[string]EndpointInfo, following []EndpointInfo,
+	groupOf func(*EndpointInfo) (K, bool),
+) map[K]balancer.DedupGroup {
+	shared := map[K]balancer.DedupGroup{}
+	for _, info := range following {
+		earlier := before[info.Name]
+		if info.State == balancer.Gone || earlier.Addr != info.Addr {
+			continue
+		}
+		groupBefore, knownBefore := groupOf(&earlier)
+		group, known := groupOf(&info)
+		switch {
+		case !known || !knownBefore:
+		case group != groupBefore:
+			return map[K]balancer.DedupGroup{}
+		case numbers[group] != balancer.UnknownGroup:
+			shared[group] = numbers[group]
+		}
+	}
+	return shared
 }
 
 // zoneGroup returns the number of an endpoint's zone.
--- a/internal/engine/dedupgroups_test.go
+++ b/internal/engine/dedupgroups_test.go
@@ -177,6 +177,49 @@
 	}
 }
 
+// Guards against keyed requests that fail although they could be retried, since discovery has moved to another address
+// that lists the same endpoints in the same groups. Other names, or other endpoints of the same names, are no evidence.
+func TestGroupsOfMovedDiscovery(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// change changes the entries of two endpoints that both discoveries list: a ready one, and one that drains.
+		change  func(shared, drained *EndpointInfo)
+		retried bool
+	}{
+		"same groups":             {func(_, _ *EndpointInfo) {}, true},
+		"same groups, restarted":  {func(shared, _ *EndpointInfo) { shared.StartedAt = 2 }, true},
+		"other addresses":         {func(a, b *EndpointInfo) { a.Addr, b.Addr = "10.9.0.2:80", "10.9.0.3:80" }, false},
+		"other endpoints":         {func(a, b *EndpointInfo) { a.Name, b.Name = "e8", "e9" }, false},
+		"other groups":            {func(a, b *EndpointInfo) { inCells(2, 2)(a, b); inZones("y", "y")(a, b) }, false},
+		"unknown groups":          {func(a, b *EndpointInfo) { a.dropGroups(); b.dropGroups() }, false},
+		"other groups of one":     {func(_, drained *EndpointInfo) { drained.Cell, drained.Zone = 2, "y" }, false},
+		"not listed any more":     {func(_, drained *EndpointInfo) { drained.State = balancer.Gone }, true},
+		"unknown groups of one":   {func(_, drained *EndpointInfo) { drained.dropGroups() }, true},
+		"other groups than first": {func(shared, _ *EndpointInfo) { shared.Cell, shared.Zone = 2, "y" }, false},
+	} {
+		for _, scope := range []balancer.DedupScope{balancer.DedupZone, balancer.DedupCell} {
+			for _, subsetSettings := range []*subset.Settings{nil, {Instances: 1, MinMembers: 3}} {
+				r := startKeyedRun(t, scope, subsetSettings)
+				list := twoEndpoints(inCells(1, 1))
+				drained := readyAt("e3", "10.0.0.4:80")
+				drained.Cell, drained.CellKnown, drained.State = 1, true, balancer.Draining
+				r.update(EndpointUpdate{Kind: balancer.ListFull, Generation: 1}, append(list, drained)...)
+				attempt := r.send(t)
+				shared, added := list[0], list[1]
+				if shared.Name == attempt.Endpoint.Name {
+					shared, added = added, shared
+				}
+				tc.change(&shared, &drained)
+				added.Name, added.Addr, added.StartedAt = "e2", "10.0.0.3:80", 1
+				moved := EndpointUpdate{Kind: balancer.ListFull, Source: "two", NewSource: true}
+				r.update(moved, shared, added, drained)
+				if got := r.isRetried(attempt); got != tc.retried {
+					t.Errorf("%s, scope %d: retried %v, want %v", name, scope, got, tc.retried)
+				}
+			}
+		}
+	}
+}
+
 // Guards against cells of a discovery that has been replaced which a snapshot passes on as those of the new one.
 func TestSnapshotHasNoGroupsOfEarlierSource(t *testing.T) {
 	r := startKeyedRun(t, balancer.DedupCell, nil)
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -102,7 +102,7 @@
 		return
 	}
 	p.generation = update.Generation
-	p.dedupGroups.setSource(update.Source)
+	p.dedupGroups.setSource(update.Source, p.fullEndpointList(), update.Endpoints)
 	if o := p.engine.config.Observer; o != nil {
 		o.EndpointsUpdated(now, update)
 	}
