A daemon whose predecessor has ended takes over from the process that serves now

What operators saw: of two daemons started at the same time beside one that serves, one takes over, and the other ends with status 1 after 3 s, 'address already in use'.

Cause: the second had connected to the serving process, which ended before it read the Hello. StartAlone then bound the addresses itself, and waited 3 s for them, while the first process served there and listened for successors.

Change: startOrTakeOver serves both starts, and dials the takeover socket before each try to bind. openListeners goes on with the listeners that are not open yet; the wait moves from there to startOrTakeOver. New log line 'address in use, start waits'.

Why it works: who serves listens at the takeover socket, which is handed over with the others; an address that is in use without it is that of a process that drains.

Tests of the daemon on starts, stops and hot restarts pass three times with -race; linter clean.

--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -38,6 +38,9 @@
 	offeredListeners []net.Listener // sockets in the order of the offer; nil for a socket that cannot be used
 	earlyConns       []net.Conn     // connections that were handed over before this generation serves
 
+	predecessors         int  // number of processes to which this one has connected as their successor
+	addressInUseReported bool // see reportAddressInUse
+
 	successorListener   *takeover.Listener // accepts connections of successors; nil if there is none
 	successorAcceptLoop sync.WaitGroup     // the accept loop of successorListener
 }
@@ -115,35 +118,72 @@
 }
 
 // startOrTakeOver starts the generation as the successor of the process or generation that serves, or alone if
-// none does.
+// none does. It waits up to bindTimeout for an address in use: either its process ends, or it listens for successors.
 func (l *lifecycle) startOrTakeOver() error {
 	if l.inProcess {
 		l.log.Info("hot restart started in this process")
 		l.Connect(l.PredecessorConn)
 		return nil
 	}
+	for deadline := time.Now().Add(bindTimeout); ; {
+		predecessor, err := l.dialPredecessor()
+		if err != nil {
+			return err
+		}
+		if predecessor != nil {
+			l.closeListeners() // the predecessor offers its own
+			l.Connect(predecessor)
+			return nil
+		}
+		err = l.serveAlone()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return err
+		}
+		l.reportAddressInUse(err)
+		select {
+		case <-time.After(bindRetryInterval):
+		case <-l.stopContext.Done():
+			return err
+		}
+	}
+}
+
+// maxPredecessors limits the processes to which one generation connects as their successor. Each but the last has ended
+// before its offer.
+const maxPredecessors = 8
+
+// dialPredecessor connects to the process that listens for successors. It returns nil if there is none, or if
+// maxPredecessors is reached.
+func (l *lifecycle) dialPredecessor() (*takeover.Conn, error) {
 	path := l.options.Config.Takeover.Socket
-	if path == "" {
-		return l.serveAlone()
+	if path == "" || l.predecessors == maxPredecessors {
+		return nil, nil
 	}
 	conn, err := takeover.Dial(path)
 	switch {
-	case err == nil:
 	case errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNREFUSED):
-		return l.serveAlone()
-	default:
-		return fmt.Errorf("takeover: %s: %w", path, err)
+		return nil, nil
+	case err != nil:
+		return nil, fmt.Errorf("takeover: %s: %w", path, err)
 	}
+	l.predecessors++
 	l.log.Info("hot restart started", "socket", path)
-	l.Connect(conn)
-	return nil
+	return conn, nil
+}
+
+// reportAddressInUse logs the first error of serveAlone for which the start waits.
+func (l *lifecycle) reportAddressInUse(err error) {
+	if !l.addressInUseReported {
+		l.addressInUseReported = true
+		l.log.Info("address in use, start waits", "up to", bindTimeout, "error", err)
+	}
 }
 
 // serveAlone starts the generation without a predecessor: it opens its listeners and serves at once. Requests
-// are rejected until an endpoint list has been received.
+// are rejected until an endpoint list has been received. After an error, listeners that were opened stay open.
 func (l *lifecycle) serveAlone() error {
 	l.Successor.ServeAlone()
-	if err := l.openListeners(l.stopContext, nil, nil, bindTimeout); err != nil {
+	if err := l.openListeners(nil, nil); err != nil {
 		return err
 	}
 	l.generation.startBackground()
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -25,21 +23,19 @@
 	acceptLoop sync.WaitGroup // the goroutine that startAccepting starts
 }
 
-// bindTimeout is how long a daemon that starts without a predecessor waits for an address that another process
+// bindTimeout is how long a daemon that starts without a predecessor waits for addresses that another process
 // still uses. A process that was just stopped continues to accept connections for stopAcceptDelay.
 const bindTimeout = 3 * time.Second
 
 // socketUmask is the umask with which only the daemon's user can access a new unix socket.
 const socketUmask = 0o177
 
-// openListeners opens the configured listeners. For each listener it adopts the offered socket whose name (the
-// address in the predecessor's configuration file) or bound address is the listener's address, and sets that
-// socket to nil in offeredSockets. It waits up to maxWait for an address in use. After an error, stopBackground
-// closes the listeners that were opened.
-func (g *generation) openListeners(
-	stop context.Context, offeredSockets []net.Listener, offeredNames []string, maxWait time.Duration,
-) error {
-	for i := range g.options.Config.Listeners {
+// openListeners opens the configured listeners that are not open yet. For each listener it adopts the offered socket
+// whose name (the address in the predecessor's configuration file) or bound address is the listener's address, and sets
+// that socket to nil in offeredSockets. After an error, listeners that were opened stay open until closeListeners or
+// stopBackground.
+func (g *generation) openListeners(offeredSockets []net.Listener, offeredNames []string) error {
+	for i := len(g.listeners); i < len(g.options.Config.Listeners); i++ {
 		conf := &g.options.Config.Listeners[i]
 		l := &listener{
 			config:   conf,
@@ -49,7 +45,8 @@
 		if l.socket != nil {
 			l.setKeepPath(true) // the path belongs to the predecessor if this start fails
 		} else {
-			socket, err := openListener(stop, conf, maxWait)
+			network, address := conf.Network()
+			socket, err := bindListener(network, address, conf.Mode.Bits)
 			if err != nil {
 				return fmt.Errorf("listener %q: %w", conf.Name, err)
 			}
@@ -60,6 +57,14 @@
 	return nil
 }
 
+// closeListeners closes the listeners that openListeners has opened.
+func (g *generation) closeListeners() {
+	for _, l := range g.listeners {
+		l.close()
+	}
+	g.listeners = nil
+}
+
 // takeOffered returns the offered socket of a listener and sets it to nil in offeredSockets. It returns nil if
 // no offered socket has the name or the address of the listener.
 func takeOffered(conf *config.Listener, offeredSockets []net.Listener, offeredNames []string) net.Listener {
@@ -73,24 +78,7 @@
 	return nil
 }
 
-// openListener opens one listener. While the address is in use it retries until maxWait has passed or stop is
-// canceled.
-func openListener(stop context.Context, conf *config.Listener, maxWait time.Duration) (net.Listener, error) {
-	network, address := conf.Network()
-	for deadline := time.Now().Add(maxWait); ; {
-		socket, err := bindListener(network, address, conf.Mode.Bits)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
-			return socket, err
-		}
-		select {
-		case <-time.After(bindRetryInterval):
-		case <-stop.Done():
-			return nil, err
-		}
-	}
-}
-
-// bindListener opens one listener without retrying. mode holds the permissions of a unix socket. A unix socket
+// bindListener opens one listener. mode holds the permissions of a unix socket. A unix socket
 // at the same path on which no process listens is replaced.
 func bindListener(network, address string, mode os.FileMode) (net.Listener, error) {
 	if network != "unix" {
--- a/internal/daemon/predecessor_test.go
+++ b/internal/daemon/predecessor_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"log/slog"
+	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -195,3 +197,72 @@
 		t.Errorf("more samples than a new process can have: %+v", s.Learned.Endpoints[0])
 	}
 }
+
+// Guards against a successor that ends since the process to which it had connected has handed over to another one and
+// ended: that one serves at the same addresses, and listens at the same takeover socket.
+func TestPredecessorHandedOverToAnother(t *testing.T) {
+	fleet := newTestFleet(t, 1, endpoint.Options{})
+	predecessor, successor, serving := fleet.startSuccessor(t)
+	next := make(chan *takeover.Conn, 1)
+	go func() {
+		if conn, err := predecessor.listener.Accept(); err == nil {
+			next <- conn
+		}
+	}()
+	predecessor.Close()
+	select {
+	case conn := <-next:
+		predecessor.Conn = conn
+		t.Cleanup(func() { conn.Close() })
+	case <-serving:
+		t.Fatal("the successor serves alone")
+	case err := <-successor.ended:
+		t.Fatal("the successor has ended: ", err)
+	}
+	predecessor.expect(decide.Hello)
+	predecessor.send(decide.Offer, "{}")
+	predecessor.expect(decide.Ready)
+	predecessor.send(decide.Handover, "")
+	predecessor.expect(decide.Prepared)
+	predecessor.send(decide.Activate, "")
+	scriptedpeer.Receive(t, serving, "a daemon that serves")
+}
+
+// lineWriter passes on what is written to it, up to the capacity of the channel.
+type lineWriter chan<- string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	select {
+	case w <- string(line):
+	default:
+	}
+	return len(line), nil
+}
+
+// Guards against a process that ends since another one that started at the same time has bound its address: it takes
+// over from that one once it listens for successors.
+func TestAddressInUseByProcessThatStarts(t *testing.T) {
+	fleet := newTestFleet(t, 1, endpoint.Options{})
+	addr := freeAddr(t)
+	c := fleet.config(t, "127.0.0.1:0", addr)
+	clientListener, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer clientListener.Close()
+	lines := make(chan string, 16)
+	successor, serving := launchDaemon(t, c, slog.New(slog.NewTextHandler(lineWriter(lines), nil)))
+	scriptedpeer.Eventually(t, "address in use", func() bool {
+		return strings.Contains(scriptedpeer.Receive(t, lines, "log line"), "address in use")
+	})
+	predecessor := actAsPredecessor(t, c.Takeover.Socket, func() {})
+	require.NoError(t, predecessor.Write(takeover.Message{
+		Kind:    decide.Offer,
+		Payload: []byte(`{"Listeners":["` + addr + `"]}`),
+		Sockets: []syscall.Conn{clientListener.(*net.TCPListener)},
+	}))
+	predecessor.expect(decide.Ready)
+	predecessor.send(decide.Handover, "")
+	predecessor.expect(decide.Prepared)
+	predecessor.send(decide.Activate, "")
+	successor.addrs = scriptedpeer.Receive(t, serving, "a daemon that serves")
+	dial(t, "tcp", addr).checkServed(t, "the new daemon")
+}
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -51,7 +51,7 @@
 		}
 		offeredNames = append(offeredNames, name)
 	}
-	if err := l.openListeners(l.stopContext, l.offeredListeners, offeredNames, 0); err != nil {
+	if err := l.openListeners(l.offeredListeners, offeredNames); err != nil {
 		return err
 	}
 	state := l.decodeState(l.receivedOffer.State, "at the start")
@@ -118,13 +118,14 @@
 	l.log.Info("snapshot restored", "when", phase, "pools", len(state.Snapshot.Pools), "skipped", skipped)
 }
 
-// StartAlone starts the generation without a predecessor. It returns an error if the generation was to take
-// over from another generation in this process.
+// StartAlone starts the generation after its predecessor ended before the offer. If that one has handed over to another
+// process, this generation takes over from that process. It returns an error if the generation was to take over from
+// another generation in this process.
 func (l *lifecycle) StartAlone() error {
 	if l.inProcess {
 		return errors.New("what served in this process has ended")
 	}
-	return l.serveAlone()
+	return l.startOrTakeOver()
 }
 
 // StartError returns the error of a generation that ends before it serves, or nil if the process was stopped.
