A replaced pool follows the list of the pool in its place, whatever the kinds of both

The first mend kept the old pool's own source: a list of addresses or an edited file that is replaced never changes again, and a discovery that has moved tells nothing any more.

Cause: nothing led from the list of the new pool to the old one, but where both are lists of addresses.

Change: Pool.Close takes the pool in its place. Once that has a list, the old one applies it, and each change of it, until its last request has ended; OnSourceUnused, in place of OnDissolved, ends its own source then. The case of two lists of addresses in changePools is gone.

Why it works: the engine applies lists of both pools in one goroutine, so that no update of the old source comes behind the first of the new one.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -220,7 +220,7 @@
 		snapshot.Pool("second").Endpoints[0].Addr != "127.0.0.1:2" {
 		t.Errorf("snapshot %+v", snapshot)
 	}
-	secondPool.Close()
+	secondPool.Close(nil)
 	lateCall := secondPool.newCall(client, "3", release)
 	core.Submit(lateCall)
 	if got := scriptedpeer.Receive(t, lateCall.Response, "response of a closed pool"); got.Verdict != engine.Rejected {
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -63,8 +63,14 @@
 }
 
 // Close makes the pool reject new requests. Requests that are open continue at the pool's endpoints until they
-// end.
-func (p *Pool) Close() { p.core.post(p.enginePool.Close) }
+// end. replacement is the pool whose endpoint list the pool then follows, or nil.
+func (p *Pool) Close(replacement *Pool) {
+	var engineReplacement *engine.Pool
+	if replacement != nil {
+		engineReplacement = replacement.enginePool
+	}
+	p.core.post(func(now monotime.Micros) { p.enginePool.Close(now, engineReplacement) })
+}
 
 // PoolCounts holds numbers of requests at one instant.
 type PoolCounts struct {
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -28,7 +28,7 @@
 	upstreams *upstream.Pool // connections to endpoints
 	core      *core.Core
 	pools     pools         // by pool name
-	closing   sync.Map      // *pool: pools without a route whose requests have not all ended
+	closing   sync.Map      // *pool: pools without a route whose source is still needed
 	frontend  *http1.Server // serves the connections of clients
 	clients   *clients
 
--- a/internal/daemon/pool_changes_test.go
+++ b/internal/daemon/pool_changes_test.go
@@ -93,46 +93,63 @@
 `
 
 // Guards against queued requests and retries of a pool that SIGHUP has replaced which go to an endpoint that is removed
-// or begins to drain after it: the pool follows its list until its last request has ended.
+// or begins to drain after it. The pool follows its own list, and that of the pool in its place once there is one,
+// until its last request has ended.
 func TestReplacedPoolFollowsItsList(t *testing.T) {
-	held, release := make(chan struct{}), make(chan struct{})
-	addr := scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := scriptedpeer.ReadRequest(r); err == nil {
-			held <- struct{}{}
-			<-release
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
-	})
-	other := scriptedpeer.ClosedAddress(t)
-	both := []discovery.Instance{scripteddiscovery.Up("s-0", addr), scripteddiscovery.Up("s-1", other)}
-	server, err := discoveryserver.Start(both...)
-	require.NoError(t, err)
-	defer server.Close()
-	discoverySetting := fmt.Sprintf("discovery = %q", server.Addr)
+	type endpoints struct{ serving, other string }
+	type listSetting func(t *testing.T, e endpoints) string
+	addresses := func(_ *testing.T, e endpoints) string {
+		return fmt.Sprintf("endpoints = [%q, %q]", e.serving, e.other)
+	}
+	oneAddress := func(_ *testing.T, e endpoints) string { return fmt.Sprintf("endpoints = [%q]", e.serving) }
+	file := func(t *testing.T, e endpoints) string {
+		t.Helper()
+		return fileList(t, []string{e.serving, e.other}, []string{"", ""})
+	}
+	smallerFile := func(t *testing.T, e endpoints) string {
+		t.Helper()
+		return fileList(t, []string{e.serving}, []string{""})
+	}
+	otherDiscovery := func(t *testing.T, e endpoints) string {
+		t.Helper()
+		server := startDiscoveryServer(t, scripteddiscovery.Up("s-0", e.serving), scripteddiscovery.Up("s-1", e.other))
+		return fmt.Sprintf("discovery = %q", server.Addr)
+	}
 	for name, tc := range map[string]struct {
-		list, nextList string
-		remove         func(d *runningDaemon)
+		list, nextList listSetting // nil is a discovery that removes an endpoint later
 	}{
-		"discovery": {discoverySetting, discoverySetting, func(d *runningDaemon) {
-			awaitListed(t, d, 4) // both endpoints of each pool
-			removed := both[1]
-			removed.Lifecycle = discovery.LifecycleRemoved
-			server.Set(removed)
-		}},
-		"list of addresses": {
-			fmt.Sprintf("endpoints = [%q, %q]", addr, other), fmt.Sprintf("endpoints = [%q]", addr),
-			func(*runningDaemon) {},
-		},
+		"discovery":                    {nil, nil},
+		"another discovery":            {otherDiscovery, nil},
+		"list of addresses, discovery": {addresses, nil},
+		"file, discovery":              {file, nil},
+		"discovery, list of addresses": {nil, oneAddress},
+		"list of addresses, file":      {addresses, smallerFile},
+		"lists of addresses":           {addresses, oneAddress},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d, daemonAddr := startRoutedDaemon(t, replacedPoolConfig, "LIST", tc.list, "BUDGET", "0.1")
-			conn := dial(t, "tcp", daemonAddr)
+			held, release := make(chan struct{}, 1), make(chan struct{})
+			e := endpoints{startHoldingEndpoint(t, held, release), scriptedpeer.ClosedAddress(t)}
+			removed := scripteddiscovery.Up("s-1", e.other)
+			server := startDiscoveryServer(t, scripteddiscovery.Up("s-0", e.serving), removed)
+			setting := func(list listSetting) string {
+				if list == nil {
+					return fmt.Sprintf("discovery = %q", server.Addr)
+				}
+				return list(t, e)
+			}
+			d, addr := startRoutedDaemon(t, replacedPoolConfig, "LIST", setting(tc.list), "BUDGET", "0.1")
+			awaitListed(t, d, 2)
+			conn := dial(t, "tcp", addr)
 			conn.send(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 			scriptedpeer.Receive(t, held, "attempt at the endpoint")
-			d.applyConfig(t, parseConfig(t, replacedPoolConfig, "LIST", tc.nextList, "BUDGET", "0.2"))
-			tc.remove(d)
+			d.applyConfig(t, parseConfig(t, replacedPoolConfig, "LIST", setting(tc.nextList), "BUDGET", "0.2"))
+			if tc.nextList == nil {
+				awaitListed(t, d, 4) // both endpoints of each pool
+				removed.Lifecycle = discovery.LifecycleRemoved
+				server.Set(removed)
+			}
 			awaitListed(t, d, 2) // one endpoint of each pool
-			release <- struct{}{}
+			close(release)
 			if resp, _ := conn.readResponse(t); resp.StatusCode != 200 {
 				t.Errorf("response: %s", resp.Status)
 			}
@@ -141,6 +158,27 @@
 	}
 }
 
+// startHoldingEndpoint starts an endpoint that reports each request to held, and responds once release is closed.
+func startHoldingEndpoint(t *testing.T, held chan<- struct{}, release <-chan struct{}) (addr string) {
+	t.Helper()
+	return scriptedpeer.StartTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := scriptedpeer.ReadRequest(r); err == nil {
+			held <- struct{}{}
+			<-release
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+}
+
+// startDiscoveryServer starts a fake discovery that lists instances.
+func startDiscoveryServer(t *testing.T, instances ...discovery.Instance) *discoveryserver.Server {
+	t.Helper()
+	server, err := discoveryserver.Start(instances...)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
 // awaitListed waits until the pools of a daemon, including those that are closing, list a number of endpoints.
 func awaitListed(t *testing.T, d *runningDaemon, want int) {
 	t.Helper()
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -43,7 +43,7 @@
 		Subset:            g.config.Fleet.SubsetSettings(),
 		OnIdleConnections: func(n float64) { g.upstreams.LimitIdle(conf.Name, n) },
 		SetWatch:          func(bool) {},
-		OnDissolved:       func() { g.goroutines.Go(func() { g.releasePool(p) }) },
+		OnSourceUnused:    func() { g.goroutines.Go(func() { g.releaseSource(p) }) },
 	}
 	switch {
 	case conf.Endpoints != nil:
@@ -130,7 +130,7 @@
 		p, err := g.newPool(conf, g.options.Config.Site.Settings.Subscribe)
 		if err != nil {
 			for _, p := range addedPools {
-				p.corePool.Close()
+				p.corePool.Close(nil)
 			}
 			return nil, nil, err
 		}
@@ -171,19 +171,20 @@
 	p.corePool.UpdateEndpoints(context.Background(), list)
 }
 
-// closePool closes a pool to which no route leads any more. Its source goes on until its last request has ended
-// (releasePool): queued requests and retries must not go to endpoints that begin to drain or are removed.
-// replacement is the pool that has its name now, or nil.
+// closePool closes a pool to which no route leads any more. replacement is the pool that has its name now, or nil.
+// The source of the pool goes on until it is not needed any more (releaseSource): queued requests and retries must
+// not go to endpoints that begin to drain or are removed.
 func (g *generation) closePool(p, replacement *pool) {
 	g.closing.Store(p, nil)
-	if replacement != nil && p.config.Endpoints != nil && replacement.config.Endpoints != nil {
-		g.updateStaticList(p, *replacement.config.Endpoints)
+	if replacement == nil {
+		p.corePool.Close(nil)
+		return
 	}
-	p.corePool.Close()
+	p.corePool.Close(replacement.corePool)
 }
 
-// releasePool stops the source of a closed pool whose requests have all ended.
-func (g *generation) releasePool(p *pool) {
+// releaseSource stops the source of a closed pool.
+func (g *generation) releaseSource(p *pool) {
 	p.stopSource()
 	g.closing.Delete(p)
 }
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -111,7 +111,11 @@
 }
 
 // Watch starts or stops the watch of the endpoint list at discovery.
-func (act actions) Watch(active bool) { act.pool.config.SetWatch(active) }
+func (act actions) Watch(active bool) {
+	if !act.pool.sourceReleased {
+		act.pool.config.SetWatch(active)
+	}
+}
 
 // Log records an informational message for on-call staff, with the name of the pool.
 func (act actions) Log(message string, args ...any) {
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -78,13 +78,14 @@
 const unknownIndex = 255
 
 // UpdateEndpoints applies an update of the endpoint list. An update older than the current list is ignored
-// unless it comes from a new source.
+// unless it comes from a new source. Updates after OnSourceUnused are ignored.
 func (p *Pool) UpdateEndpoints(now monotime.Micros, update EndpointUpdate) {
-	if p.dissolved {
+	if p.sourceReleased {
 		return
 	}
 	p.engine.now = now
 	p.applyUpdate(now, update)
+	p.passListOn(now)
 	p.engine.dispatchQueued(now)
 }
 
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -28,9 +28,9 @@
 	// SetWatch starts or stops the watch of the endpoint list at discovery. It must not block.
 	SetWatch func(active bool)
 
-	// OnDissolved is called once the pool is closed and all its requests have ended. It must not block. It may be
-	// nil.
-	OnDissolved func()
+	// OnSourceUnused is called once updates of the endpoint list are not needed any more: the closed pool follows the
+	// list of its replacement, or all its requests have ended. It must not block. It may be nil.
+	OnSourceUnused func()
 
 	// Subset makes the instance use a subset of the endpoint list; nil uses the whole list.
 	Subset *subset.Settings
@@ -80,6 +80,9 @@
 	openCalls int  // number of the pool's calls in the request table
 	closed    bool // no further requests are accepted
 	dissolved bool // closed, without open requests, and removed from the engine
+
+	replacement    *Pool // the pool in place of this closed one; nil if there is none
+	sourceReleased bool  // OnSourceUnused has been called
 }
 
 // NewPool returns a pool, or an error that names the invalid setting. The engine does not use the pool before
@@ -167,18 +170,22 @@
 // SetSource changes the name of the origin of the endpoint list.
 func (p *Pool) SetSource(source string) { p.source = source }
 
-// Close makes the pool stop accepting requests. Open requests continue at its endpoints until they end.
-func (p *Pool) Close(now monotime.Micros) {
+// Close makes the pool stop accepting requests. Open requests continue at its endpoints until they end. replacement is
+// the pool in its place, whose endpoint list it follows (followReplacement), or nil.
+func (p *Pool) Close(now monotime.Micros, replacement *Pool) {
 	p.engine.now = now
 	p.closed = true
+	p.replacement = replacement
 	p.queue.close()
+	p.followReplacement(now)
 	p.dissolveIfIdle()
 	p.engine.dispatchQueued(now)
 }
 
-// dissolveIfIdle removes a closed pool from the engine and drops its endpoints once it has no open requests.
+// dissolveIfIdle removes a closed pool from the engine and drops its endpoints once it has no open requests, and no
+// other pool follows its list.
 func (p *Pool) dissolveIfIdle() {
-	if !p.closed || p.dissolved || p.openCalls > 0 {
+	if !p.closed || p.dissolved || p.openCalls > 0 || len(p.replacedPools()) > 0 {
 		return
 	}
 	p.dissolved = true
@@ -197,7 +204,8 @@
 	p.byName = nil
 	p.byNumber = nil
 	p.endpointList = nil
-	if p.config.OnDissolved != nil {
-		p.config.OnDissolved()
+	p.releaseSource()
+	if p.replacement != nil {
+		p.replacement.dissolveIfIdle()
 	}
 }
