Comments on what the kernel reports in the standard words; a long test in parts

Change: comments of upload, sockqueue, http1 and upstream; chunkWriter.examined; the settings of lists in functions of their own. No change of behavior.

--- a/internal/daemon/pool_changes_test.go
+++ b/internal/daemon/pool_changes_test.go
@@ -96,39 +96,20 @@
 // or begins to drain after it. The pool follows its own list, and that of the pool in its place once there is one,
 // until its last request has ended.
 func TestReplacedPoolFollowsItsList(t *testing.T) {
-	type endpoints struct{ serving, other string }
-	type listSetting func(t *testing.T, e endpoints) string
-	addresses := func(_ *testing.T, e endpoints) string {
-		return fmt.Sprintf("endpoints = [%q, %q]", e.serving, e.other)
-	}
-	oneAddress := func(_ *testing.T, e endpoints) string { return fmt.Sprintf("endpoints = [%q]", e.serving) }
-	file := func(t *testing.T, e endpoints) string {
-		t.Helper()
-		return fileList(t, []string{e.serving, e.other}, []string{"", ""})
-	}
-	smallerFile := func(t *testing.T, e endpoints) string {
-		t.Helper()
-		return fileList(t, []string{e.serving}, []string{""})
-	}
-	otherDiscovery := func(t *testing.T, e endpoints) string {
-		t.Helper()
-		server := startDiscoveryServer(t, scripteddiscovery.Up("s-0", e.serving), scripteddiscovery.Up("s-1", e.other))
-		return fmt.Sprintf("discovery = %q", server.Addr)
-	}
 	for name, tc := range map[string]struct {
 		list, nextList listSetting // nil is a discovery that removes an endpoint later
 	}{
 		"discovery":                    {nil, nil},
-		"another discovery":            {otherDiscovery, nil},
-		"list of addresses, discovery": {addresses, nil},
-		"file, discovery":              {file, nil},
-		"discovery, list of addresses": {nil, oneAddress},
-		"list of addresses, file":      {addresses, smallerFile},
-		"lists of addresses":           {addresses, oneAddress},
+		"another discovery":            {listAtDiscovery, nil},
+		"list of addresses, discovery": {listOfAddresses, nil},
+		"file, discovery":              {listInFile, nil},
+		"discovery, list of addresses": {nil, listOfServing},
+		"list of addresses, file":      {listOfAddresses, listOfServingInFile},
+		"lists of addresses":           {listOfAddresses, listOfServing},
 	} {
 		t.Run(name, func(t *testing.T) {
 			held, release := make(chan struct{}, 1), make(chan struct{})
-			e := endpoints{startHoldingEndpoint(t, held, release), scriptedpeer.ClosedAddress(t)}
+			e := listedEndpoints{startHoldingEndpoint(t, held, release), scriptedpeer.ClosedAddress(t)}
 			removed := scripteddiscovery.Up("s-1", e.other)
 			server := startDiscoveryServer(t, scripteddiscovery.Up("s-0", e.serving), removed)
 			setting := func(list listSetting) string {
@@ -158,6 +139,36 @@
 	}
 }
 
+// listedEndpoints has the addresses of an endpoint that serves and of another one.
+type listedEndpoints struct{ serving, other string }
+
+// listSetting returns the setting of a pool's list.
+type listSetting func(t *testing.T, e listedEndpoints) string
+
+func listOfAddresses(_ *testing.T, e listedEndpoints) string {
+	return fmt.Sprintf("endpoints = [%q, %q]", e.serving, e.other)
+}
+
+func listOfServing(_ *testing.T, e listedEndpoints) string {
+	return fmt.Sprintf("endpoints = [%q]", e.serving)
+}
+
+func listInFile(t *testing.T, e listedEndpoints) string {
+	t.Helper()
+	return fileList(t, []string{e.serving, e.other}, []string{"", ""})
+}
+
+func listOfServingInFile(t *testing.T, e listedEndpoints) string {
+	t.Helper()
+	return fileList(t, []string{e.serving}, []string{""})
+}
+
+func listAtDiscovery(t *testing.T, e listedEndpoints) string {
+	t.Helper()
+	server := startDiscoveryServer(t, scripteddiscovery.Up("s-0", e.serving), scripteddiscovery.Up("s-1", e.other))
+	return fmt.Sprintf("discovery = %q", server.Addr)
+}
+
 // startHoldingEndpoint starts an endpoint that reports each request to held, and responds once release is closed.
 func startHoldingEndpoint(t *testing.T, held chan<- struct{}, release <-chan struct{}) (addr string) {
 	t.Helper()
--- a/internal/decide/upload/chunkwriter.go
+++ b/internal/decide/upload/chunkwriter.go
@@ -4,8 +4,8 @@
 // of a segment of the largest size.
 const maxSegment = 64 << 10
 
-// ClientSocket is what the kernel tells of the client's end of the connection. Each number is Unknown if it cannot be
-// told.
+// ClientSocket is the state of the client's end of the connection as the kernel reports it. A number that the kernel
+// does not report is Unknown.
 type ClientSocket struct {
 	// Unsent is the number of bytes in the client's send buffer. Bytes that have just arrived may count twice.
 	Unsent int64
@@ -16,7 +16,7 @@
 	SendBuffer, SendBufferUsed int64
 }
 
-// UnknownSocket is the ClientSocket of a client of which the kernel tells nothing.
+// UnknownSocket is the ClientSocket of a client of which the kernel reports nothing.
 var UnknownSocket = ClientSocket{Unsent: Unknown, Written: Unknown, SendBuffer: Unknown, SendBufferUsed: Unknown}
 
 // acknowledged returns how many bytes have left the send buffer.
@@ -30,11 +30,11 @@
 
 // chunkWriter follows what the client of a chunked body writes.
 //
-// The kernel tells the numbers of a ClientSocket one after another. They fit together if nothing was written meanwhile:
-// if the next observation has the same ClientSocket.Written.
+// The kernel reports the numbers of a ClientSocket one after another. They are consistent if nothing was written
+// meanwhile: if the next observation has the same ClientSocket.Written.
 type chunkWriter struct {
 	written      int64 // ClientSocket.Written of the last observation
-	settled      bool  // the last observation with the same number has been examined
+	examined     bool  // the last observation with the same number has been examined
 	acknowledged int64 // ClientSocket.acknowledged of the last observation that was examined
 	mayBeBlocked bool  // the last write may have filled the send buffer
 	isIdle       bool  // the client writes nothing, although its send buffer has space
@@ -48,12 +48,12 @@
 	}
 	if socket.Written != w.written {
 		w.written = socket.Written
-		w.settled = false
+		w.examined = false
 		return
 	}
 	switch {
-	case !w.settled:
-		w.settled = true
+	case !w.examined:
+		w.examined = true
 		drained := socket.acknowledged() - w.acknowledged // since the last write, at most
 		w.mayBeBlocked = socket.free() <= drained+maxSegment && !socket.isWritable()
 		w.isIdle = !w.mayBeBlocked
--- a/internal/decide/upload/upload.go
+++ b/internal/decide/upload/upload.go
@@ -2,7 +2,7 @@
 //
 // A request's time counts from its last byte (page PROTOCOL). While an endpoint takes no more of the body, the load
 // balancer reads no more of it, and the last byte may lie in a buffer of a kernel: in the receive buffer of the load
-// balancer, where it can be observed, or in the client's send buffer, which only the kernel of the same host tells.
+// balancer, where it can be observed, or in the client's send buffer, which only the kernel of the same host reports.
 //
 // The end of a chunked body is known only once it is read. Until then it is inferred from what the client writes.
 package upload
@@ -24,8 +24,8 @@
 // Arrival is how much of a body has come from the client.
 type Arrival struct {
 	Read   int64 // bytes that this process has read
-	Unread int64 // further bytes that have arrived; Unknown if it cannot be told
-	Window int64 // receive window of the connection in bytes; Unknown if it cannot be told
+	Unread int64 // further bytes that have arrived, or Unknown
+	Window int64 // receive window of the connection in bytes, or Unknown
 	ClientSocket
 	// IsIncomplete is set if all bytes that the client has written have arrived, and are known not to end with the
 	// last chunk.
@@ -40,7 +40,7 @@
 	Arrival
 	AwaitsClient   bool  // this process waits for the client to send more
 	Forwarded      int64 // bytes that this process has written to the endpoint
-	Unacknowledged int64 // bytes that the endpoint's host has not acknowledged yet; Unknown if it cannot be told
+	Unacknowledged int64 // bytes that the endpoint's host has not acknowledged yet, or Unknown
 }
 
 // Tracker follows the progress of one body.
@@ -148,7 +148,7 @@
 }
 
 // Start returns the instant from which the time of the request counts, by what has been observed. It moves on until
-// the client has written the last byte. As long as that cannot be told, it is the latest instant of progress.
+// the client has written the last byte. As long as that is not known, it is the latest instant of progress.
 //
 // Once the last byte has been written, it is that instant with fromLastByte. Otherwise it moves on for as long as the
 // endpoint is still taking the rest of the body.
--- a/internal/frontend/http1/lateresponse.go
+++ b/internal/frontend/http1/lateresponse.go
@@ -34,7 +34,7 @@
 }
 
 // observeLateness counts the final response to a request if it is late, and logs it, at most once in lateLogInterval.
-// The log line tells where the time went: before the request was admitted (queue_ms), or behind that.
+// The log line states where the time went: before the request was admitted (queue_ms), or behind that.
 func (s *Server) observeLateness(call *core.Call, response *engine.Response) {
 	now := s.options.Clock.Now()
 	lateness := now - call.Request.Deadline
--- a/internal/frontend/http1/peekable.go
+++ b/internal/frontend/http1/peekable.go
@@ -148,7 +148,7 @@
 }
 
 // arrival returns how many bytes have been read from the connection, and how many more have arrived or may arrive.
-// It leaves open what the kernel tells of the client's socket.
+// It leaves open what the kernel reports on the client's socket.
 func (p *peekableConn) arrival() upload.Arrival {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sockqueue/peer.go
+++ b/internal/sockqueue/peer.go
@@ -43,7 +43,7 @@
 	memoryLength         = 24
 )
 
-// PeerSocket is what the kernel tells of the peer's socket of a connection. Each number is Unknown unless the peer is a
+// PeerSocket is the kernel's report on the peer's socket of a connection. Each number is Unknown unless the peer is a
 // TCP socket of this host, in the same network namespace.
 type PeerSocket struct {
 	// Unacknowledged is the number of bytes that the peer has written and that this end has not acknowledged. That
--- a/internal/sockqueue/sockqueue.go
+++ b/internal/sockqueue/sockqueue.go
@@ -19,7 +19,7 @@
 	windowEnd    = windowOffset + 4
 )
 
-// Unknown is the result for a socket that does not tell.
+// Unknown is the result for a socket that does not report it.
 const Unknown = -1
 
 // Unread returns the number of bytes that have arrived on a socket and have not been read (FIONREAD), or Unknown.
--- a/internal/sockqueue/tail.go
+++ b/internal/sockqueue/tail.go
@@ -9,7 +9,7 @@
 const maxTailQueue = 1 << 20
 
 // UnreadTail returns up to the last n bytes that have arrived on a socket and have not been read: fewer if fewer have
-// arrived. It reports false if more than maxTailQueue bytes have arrived, or if the socket does not tell.
+// arrived. It reports false if more than maxTailQueue bytes have arrived, or if the socket does not report them.
 func UnreadTail(conn syscall.RawConn, n int) (tail []byte, known bool) {
 	unread := Unread(conn)
 	if unread == Unknown || unread > maxTailQueue {
--- a/internal/upstream/bodyprogress.go
+++ b/internal/upstream/bodyprogress.go
@@ -7,12 +7,12 @@
 
 // This file follows the progress of request bodies that are streamed.
 
-// BodyClient tells how much of a body has come from the client. Its methods do not wait.
+// BodyClient reports how much of a body has come from the client. Its methods do not wait.
 type BodyClient interface {
 	// Arrival returns how much of the body has come, including bytes that RequestStream.Body has not returned yet. It
-	// leaves open what the other methods tell.
+	// leaves open what the other methods report.
 	Arrival() upload.Arrival
-	// Socket returns what the kernel tells of the client's end of the connection.
+	// Socket returns what the kernel reports on the client's end of the connection.
 	Socket() upload.ClientSocket
 	// MayEnd reports whether the bytes that have come may end with the last chunk of a body.
 	MayEnd() bool
