--- a/internal/config/drain_test.go
+++ b/internal/config/drain_test.go
@@ -32,19 +32,28 @@
 	}
 }
 
-// The default of drain_within keeps to the limit of a maintenance plan, and not below what it was before.
+// Guards against a machine that is reported as at work while a process or generation that was replaced still has
+// requests open there: with a maintenance plan the default of drain_within ends before the plan's wait, and a longer
+// one is warned of. The default is not below what it was before.
 func TestDefaultDrainWithMaintenancePlan(t *testing.T) {
 	for quiet, want := range map[time.Duration]time.Duration{
-		0: 5 * time.Second, 10 * time.Second: 12 * time.Second, time.Minute: 30500 * time.Millisecond,
+		0: 5 * time.Second, 5 * time.Second: 6500 * time.Millisecond, 10 * time.Second: 11500 * time.Millisecond,
+		time.Minute: 30500 * time.Millisecond,
 	} {
-		c := defaults()
-		c.Classes = []Class{{Name: "a", ClientTimeout: seconds(30)}}
-		c.Takeover.Socket = "/takeover.sock"
-		c.Maintenance.On = true
-		c.Maintenance.Lease = seconds(2)
-		c.Maintenance.InFlightGrace.Duration = quiet
-		if c.setDrainTimeout(); c.Takeover.DrainTimeout.Duration != want {
-			t.Errorf("quiet %v: %v, want %v", quiet, c.Takeover.DrainTimeout, want)
+		for _, socket := range []string{"", "/takeover.sock"} {
+			c := defaults()
+			c.Classes = []Class{{Name: "a", ClientTimeout: seconds(30)}}
+			c.Takeover.Socket = socket
+			c.Maintenance.On = true
+			c.Maintenance.Lease = seconds(2)
+			c.Maintenance.InFlightGrace.Duration = quiet
+			if c.setDrainTimeout(); c.Takeover.DrainTimeout.Duration != want {
+				t.Errorf("quiet %v, socket %q: %v, want %v", quiet, socket, c.Takeover.DrainTimeout, want)
+			}
+			c.Takeover.DrainTimeout = seconds(100)
+			if warnings := c.Warnings(); len(warnings) != 1 || !strings.Contains(warnings[0].Reason, "at work") {
+				t.Errorf("quiet %v, 100s: warnings %v", quiet, warnings)
+			}
 		}
 	}
 }
--- a/internal/config/warnings.go
+++ b/internal/config/warnings.go
@@ -20,6 +20,9 @@
 	if class, timeout := c.longestClientTimeout(); c.Takeover.DrainTimeout.Duration < timeout {
 		warnings = append(warnings, c.drainWarning(class, timeout))
 	}
+	if c.Maintenance.On && c.Takeover.DrainTimeout.Duration > c.Maintenance.maxDrain() {
+		warnings = append(warnings, c.maintenanceWarning())
+	}
 	for i := range c.Classes {
 		for j := range c.Pools {
 			if c.lacksGroups(&c.Classes[i], &c.Pools[j]) {
@@ -40,6 +43,16 @@
 	}
 }
 
+// maintenanceWarning returns the warning that a generation that is replaced may outlast the coordinator's wait for it.
+func (c *Config) maintenanceWarning() Warning {
+	const reason = "%v: longer than work.lease and work.quiet together, %v: after a SIGHUP that needs a new " +
+		"generation, a machine may be reported as at work while the generation before has a request open there"
+	return Warning{
+		Key:    "takeover.drain_within",
+		Reason: fmt.Sprintf(reason, c.Takeover.DrainTimeout, c.Maintenance.maxDrain()),
+	}
+}
+
 // groupWarning returns the warning that a pool's list does not state the group in which a class is retried.
 func groupWarning(classIndex int, group, pool string) Warning {
 	const reason = "%[1]q: pool %[2]q has a list of addresses, which names no %[1]s: a request that may have run is " +
