Endpoints that a replacement's list renames do not start cold in the replaced pool

Cause: the list of the pool in its place may have other names for the same endpoints (a list of addresses has their addresses). An entry without a start time that a pool lists after its first list counts as just started, so that the queued requests of the replaced pool would have had the capacity of cold endpoints only.

Change: of the first such list, new endpoints without a start time have started long ago, as they have for the pool in its place.

--- a/internal/engine/replacedpool.go
+++ b/internal/engine/replacedpool.go
@@ -28,17 +28,34 @@
 	if p.replacement == nil || p.replacement.generation <= noGeneration {
 		return
 	}
+	endpoints := p.replacement.sortedEndpoints()
+	if !p.sourceReleased {
+		p.assumeStartedLongAgo(endpoints)
+	}
 	p.releaseSource()
 	p.applyUpdate(now, EndpointUpdate{
 		Kind:       balancer.ListFull,
 		Generation: p.replacement.generation,
 		Source:     p.replacement.dedupGroups.source,
 		NewSource:  true,
-		Endpoints:  p.replacement.sortedEndpoints(),
+		Endpoints:  endpoints,
 	})
 	p.passListOn(now)
 }
 
+// assumeStartedLongAgo sets the start times that a list does not state of endpoints that are new to the pool. Otherwise
+// the endpoints of the first list of another source, which may only have other names there, would count as recently
+// started.
+func (p *Pool) assumeStartedLongAgo(endpoints []EndpointInfo) {
+	known := p.fullEndpointList()
+	for i := range endpoints {
+		_, isKnown := known[endpoints[i].Name]
+		if !isKnown && endpoints[i].StartedAt == 0 {
+			endpoints[i].StartedAt = longAgo
+		}
+	}
+}
+
 // passListOn applies the pool's endpoint list to the pools that it has replaced.
 func (p *Pool) passListOn(now monotime.Micros) {
 	for _, replaced := range p.replacedPools() {
--- a/internal/engine/replacedpool_test.go
+++ b/internal/engine/replacedpool_test.go
@@ -8,6 +8,13 @@
 	"dunlinsail/internal/fake/require"
 )
 
+// newEngineOfPools returns an engine without pools.
+func newEngineOfPools(host *recordingHost) *Engine {
+	return New(Config{
+		Site: tenantSite(0, 1, 0), Seed: 1, Host: host, Concurrency: ConcurrencySettings{MaxOpen: 100},
+	})
+}
+
 // startPoolOf starts a pool of a source without a list. Its SetWatch and OnSourceUnused add to events.
 func startPoolOf(t *testing.T, engine *Engine, source string, events *[]string) *Pool {
 	t.Helper()
@@ -44,9 +51,7 @@
 // follows them.
 func TestReplacedPoolsFollowNewestList(t *testing.T) {
 	host := &recordingHost{responses: map[string]Response{}}
-	engine := New(Config{
-		Site: tenantSite(0, 1, 0), Seed: 1, Host: host, Concurrency: ConcurrencySettings{MaxOpen: 100},
-	})
+	engine := newEngineOfPools(host)
 	var events []string
 	first := startPoolOf(t, engine, "one", &events)
 	first.update(7, "a")
@@ -79,3 +84,30 @@
 		t.Errorf("%d pools are left", len(engine.pools))
 	}
 }
+
+// Guards against queued requests of a replaced pool that wait since all endpoints count as recently started: the list
+// of the pool in its place has other names for them. Endpoints that come later have recently started.
+func TestRenamedEndpointsOfReplacementAreWarm(t *testing.T) {
+	host := &recordingHost{responses: map[string]Response{}}
+	engine := newEngineOfPools(host)
+	var events []string
+	first := startPoolOf(t, engine, "one", &events)
+	kept, renamed := readyAt("a", "a:80"), readyAt("b", "b:80")
+	first.UpdateEndpoints(1_000, EndpointUpdate{Kind: balancer.ListFull, Endpoints: []EndpointInfo{kept}})
+	submit(t, engine, first, 1_000, "open", 1)
+	second := startPoolOf(t, engine, "two", &events)
+	first.Close(1_000, second)
+	second.UpdateEndpoints(1_000, EndpointUpdate{
+		Kind: balancer.ListFull, Generation: 1, Endpoints: []EndpointInfo{kept, renamed},
+	})
+	if got := first.endpointList["a"].StartedAt; got != 0 {
+		t.Errorf("a, which was known, started at %d, want no start time", got)
+	}
+	if got := first.endpointList["b"].StartedAt; got != longAgo {
+		t.Errorf("b started at %d, want long ago", got)
+	}
+	second.update(2, "c")
+	if got := first.endpointList["c"].StartedAt; got != 0 {
+		t.Errorf("c started at %d, want no start time", got)
+	}
+}
